--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['dist/**/*.test.js'],
+  timeout: '120s',
+  concurrency: 6,
+};
--- /dev/null
+++ b/packages/core/events/catalogue.ts
@@ -0,0 +1,240 @@
+import type { EventLevel } from './types.js';
+
+interface CatalogueEntry {
+  readonly number: number;
+  readonly level: EventLevel;
+  /** When the event is logged; docs/EVENTS.md shows the same sentence. */
+  readonly text: string;
+}
+
+/** Every event that a daemon can log. Numbers are never reused. */
+export const EVENT_CATALOGUE = {
+  'daemon-started': { number: 1001, level: 'info', text: 'A daemon serves on its addresses.' },
+  'daemon-stopping': { number: 1002, level: 'info', text: 'A daemon began its graceful shutdown.' },
+  'daemon-stopped': {
+    number: 1003,
+    level: 'info',
+    text: 'A daemon ended; the data tells what was left.',
+  },
+  'child-failed': {
+    number: 1004,
+    level: 'error',
+    text: 'A child of a supervisor failed and is handled by its restart rule.',
+  },
+  'daemon-fault': {
+    number: 1005,
+    level: 'error',
+    text: 'A fault left the supervisor tree; the process exits with code 70.',
+  },
+  'pause-detected': {
+    number: 1006,
+    level: 'warn',
+    text: 'The process was paused for longer than a lease.',
+  },
+  'request-received': {
+    number: 2001,
+    level: 'info',
+    text: 'A request was accepted for placement.',
+  },
+  'request-queued': {
+    number: 2002,
+    level: 'info',
+    text: 'No endpoint can take the request now, so it waits.',
+  },
+  'request-placed': {
+    number: 2003,
+    level: 'info',
+    text: 'An endpoint was chosen; the data lists the candidates.',
+  },
+  'attempt-started': {
+    number: 2004,
+    level: 'info',
+    text: 'The request was sent to an endpoint daemon.',
+  },
+  'attempt-ended': { number: 2005, level: 'info', text: 'An attempt ended with a verdict.' },
+  'request-finished': { number: 2006, level: 'info', text: 'The whole answer was delivered.' },
+  'request-failed': {
+    number: 2007,
+    level: 'warn',
+    text: 'The caller got a failure with a verdict.',
+  },
+  'request-cancelled': { number: 2008, level: 'info', text: 'The caller went away.' },
+  'request-retried': {
+    number: 2009,
+    level: 'info',
+    text: 'Another attempt follows within the retry budget.',
+  },
+  'request-shed': {
+    number: 2010,
+    level: 'warn',
+    text: 'Overload refused the request before dispatch.',
+  },
+  'configuration-applied': {
+    number: 3001,
+    level: 'info',
+    text: 'A record of the control stream is in force.',
+  },
+  'configuration-void': {
+    number: 3002,
+    level: 'warn',
+    text: 'A record of the control stream lost a race and is void.',
+  },
+  'log-unavailable': { number: 3003, level: 'warn', text: 'The log does not answer.' },
+  'log-available': { number: 3004, level: 'info', text: 'The log answers again.' },
+  'record-rejected': {
+    number: 3005,
+    level: 'error',
+    text: 'A log record has an unknown format and was skipped.',
+  },
+  'configuration-from-peer': {
+    number: 3006,
+    level: 'info',
+    text: 'The configuration was taken from a peer during a log outage.',
+  },
+  'snapshot-appended': {
+    number: 3007,
+    level: 'info',
+    text: 'A snapshot of the configuration was appended to the log.',
+  },
+  'list-unavailable': {
+    number: 3008,
+    level: 'warn',
+    text: 'The instance list does not answer; heartbeats decide.',
+  },
+  'endpoint-joined': {
+    number: 4001,
+    level: 'info',
+    text: 'A new incarnation of an endpoint sent its first heartbeat.',
+  },
+  'endpoint-phase-changed': {
+    number: 4002,
+    level: 'info',
+    text: 'The phase of an endpoint changed.',
+  },
+  'heartbeat-ignored': {
+    number: 4003,
+    level: 'debug',
+    text: 'A heartbeat of an older incarnation or sequence was ignored.',
+  },
+  'lease-lapsed': {
+    number: 4004,
+    level: 'warn',
+    text: 'No heartbeat was acknowledged within the lease; new work is refused.',
+  },
+  'lease-renewed': {
+    number: 4005,
+    level: 'info',
+    text: 'A heartbeat was acknowledged after the lease had lapsed.',
+  },
+  'limit-changed': {
+    number: 4006,
+    level: 'info',
+    text: 'The admission limit of the endpoint changed.',
+  },
+  'engine-restarted': {
+    number: 4007,
+    level: 'warn',
+    text: 'The engine reports another start identity; its limit starts again.',
+  },
+  'engine-unreachable': {
+    number: 4008,
+    level: 'warn',
+    text: 'The engine does not answer its health page.',
+  },
+  'generation-started': {
+    number: 5001,
+    level: 'info',
+    text: 'A generation was started at the engine.',
+  },
+  'generation-finished': { number: 5002, level: 'info', text: 'The engine finished a generation.' },
+  'generation-failed': { number: 5003, level: 'warn', text: 'A generation ended before its end.' },
+  'generation-cancelled': {
+    number: 5004,
+    level: 'info',
+    text: 'A generation was cancelled at the engine.',
+  },
+  'stream-resumed': {
+    number: 5005,
+    level: 'info',
+    text: 'A stream goes on from the first chunk that was not delivered.',
+  },
+  'stream-stalled': {
+    number: 5006,
+    level: 'warn',
+    text: 'No chunk arrived within the stall threshold of the class.',
+  },
+  'work-refused': {
+    number: 5007,
+    level: 'info',
+    text: 'The endpoint daemon refused new work as not-run.',
+  },
+  'intent-appended': {
+    number: 6001,
+    level: 'info',
+    text: 'An intent of a non-repeatable call was appended.',
+  },
+  'intent-active': {
+    number: 6002,
+    level: 'info',
+    text: 'An intent was read back as the active one of its key.',
+  },
+  'intent-void': { number: 6003, level: 'info', text: 'Another intent holds the key.' },
+  'append-unresolved': {
+    number: 6004,
+    level: 'warn',
+    text: 'The answer to an append was lost; the stream is read for its nonce.',
+  },
+  'nonce-fenced': {
+    number: 6005,
+    level: 'info',
+    text: 'The endpoint daemon promised never to start a nonce.',
+  },
+  'outcome-appended': {
+    number: 6006,
+    level: 'info',
+    text: 'The outcome of a non-repeatable call was appended.',
+  },
+  'key-replayed': { number: 6007, level: 'info', text: 'A repeated key got its stored answer.' },
+  'move-started': { number: 7001, level: 'info', text: 'A version move is in force.' },
+  'move-share-changed': {
+    number: 7002,
+    level: 'info',
+    text: 'The share of the new version changed.',
+  },
+  'move-stopped-locally': {
+    number: 7003,
+    level: 'warn',
+    text: 'Evidence of faults stopped the new version in this process.',
+  },
+  'move-done': { number: 7004, level: 'info', text: 'A version move is done.' },
+  'move-taken-back': { number: 7005, level: 'warn', text: 'A version move was taken back.' },
+  'move-needs-operator': {
+    number: 7006,
+    level: 'warn',
+    text: 'A move has too little evidence near its deadline.',
+  },
+  'operator-record-accepted': {
+    number: 8001,
+    level: 'info',
+    text: 'An operator published a record.',
+  },
+  'operator-record-refused': {
+    number: 8002,
+    level: 'warn',
+    text: 'A record of an operator was refused or lost a race.',
+  },
+  'notification-sent': { number: 8003, level: 'info', text: 'Operators were notified.' },
+  'notification-failed': { number: 8004, level: 'warn', text: 'Operators could not be notified.' },
+  'request-suspected': {
+    number: 9001,
+    level: 'warn',
+    text: 'The request was in flight when its endpoint crashed.',
+  },
+  'request-quarantined': {
+    number: 9002,
+    level: 'warn',
+    text: 'A fingerprint crashed two endpoints and is refused until it expires.',
+  },
+} as const satisfies Readonly<Record<string, CatalogueEntry>>;
+
+export type EventName = keyof typeof EVENT_CATALOGUE;
--- /dev/null
+++ b/packages/core/events/eventLog.ts
@@ -0,0 +1,62 @@
+import { EVENT_CATALOGUE } from './catalogue.js';
+import type { EventName } from './catalogue.js';
+import { EVENT_RING_CAPACITY } from './constants.js';
+import type { EventDetails, LoggedEvent, ProcessRole } from './types.js';
+import type { Clock } from '../clock.js';
+import type { Incarnation } from '../ids.js';
+
+export interface EventLog {
+  /** Records one event in the ring and hands it to the writer. */
+  readonly record: (name: EventName, details?: EventDetails) => void;
+  /** Lists the kept events from a sequence number on, oldest first. */
+  readonly list: (fromSequence?: number) => readonly LoggedEvent[];
+}
+
+export interface EventLogOptions {
+  readonly process: string;
+  readonly role: ProcessRole;
+  readonly incarnation: Incarnation;
+  readonly clock: Clock;
+  readonly write: (event: LoggedEvent) => void;
+  readonly capacity?: number;
+}
+
+/**
+ * Creates the event log of a process: a bounded ring for the time line, and a writer for the log
+ * output.
+ *
+ * @param options - identity of the process, its clock and its writer
+ * @returns the event log
+ */
+export const createEventLog = (options: EventLogOptions): EventLog => {
+  const capacity = options.capacity ?? EVENT_RING_CAPACITY;
+  const ring: LoggedEvent[] = [];
+  let sequence = 0;
+  return {
+    record: (name, details = {}) => {
+      const entry = EVENT_CATALOGUE[name];
+      const event: LoggedEvent = {
+        number: entry.number,
+        name,
+        level: entry.level,
+        sequence,
+        at: options.clock.now(),
+        process: options.process,
+        role: options.role,
+        incarnation: options.incarnation,
+        ...details,
+      };
+      ring[sequence % capacity] = event;
+      sequence += 1;
+      options.write(event);
+    },
+    list: (fromSequence = 0) => {
+      const first = Math.max(fromSequence, sequence - capacity, 0);
+      const events: LoggedEvent[] = [];
+      for (let index = first; index < sequence; index += 1) {
+        events.push(ring[index % capacity] as LoggedEvent);
+      }
+      return events;
+    },
+  };
+};
--- /dev/null
+++ b/packages/core/loop/loop.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import { createLoop } from './loop.js';
+import type { QueueClass } from './types.js';
+
+interface Item {
+  readonly queueClass: QueueClass;
+  readonly id: number;
+}
+
+const createItemLoop = (handled: number[], capacity: number) =>
+  createLoop<Item>({
+    capacity,
+    classify: (item) => item.queueClass,
+    handle: (item) => handled.push(item.id),
+    onFault: (error) => {
+      throw error;
+    },
+  });
+
+// Guards against a full queue that loses completions while it still takes new requests.
+test('a full queue sheds new requests first and keeps completions', async (t) => {
+  const handled: number[] = [];
+  const loop = createItemLoop(handled, 4);
+  const results = [
+    loop.post({ queueClass: 'new-request', id: 1 }),
+    loop.post({ queueClass: 'new-request', id: 2 }),
+    loop.post({ queueClass: 'new-request', id: 3 }),
+    loop.post({ queueClass: 'new-request', id: 4 }),
+    loop.post({ queueClass: 'report', id: 5 }),
+    loop.post({ queueClass: 'report', id: 6 }),
+    loop.post({ queueClass: 'completion', id: 7 }),
+  ];
+  t.deepEqual(results, ['queued', 'queued', 'queued', 'shed', 'queued', 'shed', 'queued']);
+  await new Promise(setImmediate);
+  t.deepEqual(handled, [1, 2, 3, 5, 7]);
+});
+
+// Guards against a handler's exception that ends the loop or is lost.
+test('an exception reaches the fault handler and the loop goes on', async (t) => {
+  const faults: unknown[] = [];
+  const handled: number[] = [];
+  const loop = createLoop<number>({
+    capacity: 8,
+    classify: () => 'control',
+    handle: (value) => {
+      if (value === 1) throw new Error('defect');
+      handled.push(value);
+    },
+    onFault: (error) => faults.push(error),
+  });
+  loop.post(1);
+  loop.post(2);
+  await new Promise(setImmediate);
+  t.is(faults.length, 1);
+  t.deepEqual(handled, [2]);
+});
--- /dev/null
+++ b/packages/core/loop/loop.ts
@@ -0,0 +1,108 @@
+import { EVENTS_PER_TURN, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
+import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
+import { assertNever } from '../assertNever.js';
+import type { Millis } from '../clock.js';
+
+/**
+ * Tells whether an event of a class still fits into the queue.
+ *
+ * @param queueClass - importance of the event
+ * @param depth - events that wait now
+ * @param capacity - bound of the queue
+ * @returns `queued` when the event is kept
+ */
+export const decideAdmission = (
+  queueClass: QueueClass,
+  depth: number,
+  capacity: number,
+): PostResult => {
+  switch (queueClass) {
+    case 'new-request':
+      return depth < capacity * NEW_REQUEST_QUEUE_SHARE ? 'queued' : 'shed';
+    case 'report':
+      return depth < capacity ? 'queued' : 'shed';
+    case 'completion':
+    case 'control':
+      return 'queued';
+    default:
+      return assertNever(queueClass);
+  }
+};
+
+/**
+ * Creates the loop of a daemon. It sleeps until an event or a timer arrives.
+ *
+ * @param options - bound, classification and handler
+ * @returns the running loop
+ */
+export const createLoop = <Event>(options: LoopOptions<Event>): Loop<Event> => {
+  let queue: Event[] = [];
+  let head = 0;
+  let state: 'idle' | 'scheduled' | 'stopped' = 'idle';
+  const timers = new Set<NodeJS.Timeout>();
+
+  const getDepth = (): number => queue.length - head;
+
+  const drainTurn = (): void => {
+    for (let handled = 0; handled < EVENTS_PER_TURN && getDepth() > 0; handled += 1) {
+      const event = queue[head] as Event;
+      head += 1;
+      try {
+        options.handle(event);
+      } catch (error) {
+        options.onFault(error);
+      }
+      if (state === 'stopped') return;
+    }
+    if (getDepth() === 0) {
+      queue = [];
+      head = 0;
+      state = 'idle';
+      return;
+    }
+    if (head > EVENTS_PER_TURN * 4) {
+      queue = queue.slice(head);
+      head = 0;
+    }
+    setImmediate(drainTurn);
+  };
+
+  const post = (event: Event): PostResult => {
+    if (state === 'stopped') return 'shed';
+    const result = decideAdmission(options.classify(event), getDepth(), options.capacity);
+    if (result === 'shed') return result;
+    queue.push(event);
+    if (state === 'idle') {
+      state = 'scheduled';
+      queueMicrotask(drainTurn);
+    }
+    return result;
+  };
+
+  const schedule = (delay: Millis, event: Event): Timer => {
+    const handle = setTimeout(
+      () => {
+        timers.delete(handle);
+        post(event);
+      },
+      Math.max(0, delay),
+    );
+    timers.add(handle);
+    return {
+      cancel: () => {
+        clearTimeout(handle);
+        timers.delete(handle);
+      },
+    };
+  };
+
+  const stop = (): void => {
+    state = 'stopped';
+    queue = [];
+    head = 0;
+    for (const timer of timers) clearTimeout(timer);
+    timers.clear();
+  };
+
+  return { post, schedule, getDepth, stop };
+};
--- /dev/null
+++ b/packages/core/step.ts
@@ -0,0 +1,17 @@
+/** Result of one decision: the next state and the effects that adapters carry out. */
+export interface Step<State, Effect> {
+  readonly state: State;
+  readonly effects: readonly Effect[];
+}
+
+/**
+ * Builds the result of a decision.
+ *
+ * @param state - next state
+ * @param effects - effects to carry out, in order
+ * @returns the step
+ */
+export const toStep = <State, Effect>(
+  state: State,
+  ...effects: readonly Effect[]
+): Step<State, Effect> => ({ state, effects });
