--- /dev/null
+++ b/packages/settings/constants.ts
@@ -0,0 +1,33 @@
+import type { Millis } from '../core/clock.js';
+
+/** Time a daemon waits for its running work when it stops. */
+export const DEFAULT_DRAIN_MS: Millis = 30_000;
+/** Largest request body of a caller. */
+export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Twice the 2,000 streams that one entry daemon has to carry. */
+export const DEFAULT_MAX_REQUESTS = 4_096;
+export const DEFAULT_QUEUE_CAPACITY = 1_024;
+/** Time for which the key of a non-repeatable call is remembered: one day. */
+export const DEFAULT_KEY_WINDOW_MS: Millis = 86_400_000;
+export const DEFAULT_MAX_UNTIMED_KEYS = 100_000;
+export const DEFAULT_START_LIMIT = 2;
+export const DEFAULT_MAX_LIMIT = 256;
+export const DEFAULT_MAX_CHUNKS = 65_536;
+export const DEFAULT_BUFFER_BYTES = 268_435_456;
+export const DEFAULT_BUFFER_RETENTION_MS: Millis = 60_000;
+export const DEFAULT_ORPHAN_TIMEOUT_MS: Millis = 10_000;
+export const DEFAULT_ANSWER_BYTES = 67_108_864;
+export const DEFAULT_ANSWER_RETENTION_MS: Millis = 600_000;
+export const DEFAULT_HEARTBEAT_INTERVAL_MS: Millis = 500;
+export const DEFAULT_LEASE_MS: Millis = 2_000;
+export const DEFAULT_SUBSET_SIZE = 4;
+/** Shortest secret that is accepted for the signature of resume tickets. */
+export const MIN_TICKET_KEY_LENGTH = 32;
+/** Placement policy of an entry daemon whose settings name none. */
+export const DEFAULT_POLICY = {
+  kind: 'predicted-headroom',
+  choices: 4,
+  horizonMs: 10_000,
+  overflowProbability: 0.05,
+  prefixWeight: 0.25,
+} as const;
--- /dev/null
+++ b/packages/settings/endpointSchema.ts
@@ -0,0 +1,112 @@
+import { z } from 'zod';
+import {
+  DEFAULT_ANSWER_BYTES,
+  DEFAULT_ANSWER_RETENTION_MS,
+  DEFAULT_BUFFER_BYTES,
+  DEFAULT_BUFFER_RETENTION_MS,
+  DEFAULT_DRAIN_MS,
+  DEFAULT_HEARTBEAT_INTERVAL_MS,
+  DEFAULT_LEASE_MS,
+  DEFAULT_MAX_CHUNKS,
+  DEFAULT_MAX_LIMIT,
+  DEFAULT_ORPHAN_TIMEOUT_MS,
+  DEFAULT_START_LIMIT,
+  DEFAULT_SUBSET_SIZE,
+} from './constants.js';
+import {
+  LOG_SCHEMA,
+  buildAddress,
+  buildCount,
+  buildDuration,
+  buildName,
+  buildShare,
+  buildUrl,
+} from './fields.js';
+
+const TARGET_SCHEMA = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('model'),
+    engineUrl: buildUrl('URL of the model engine beside the daemon.'),
+    model: buildName('Model that the engine serves.'),
+    version: buildName('Version of the model.'),
+    fencing: z
+      .enum(['checked', 'ignored'])
+      .describe('Whether the engine refuses an order with an old fencing number.'),
+  }),
+  z.strictObject({
+    kind: z.literal('service'),
+    serviceUrl: buildUrl('URL of the plain service beside the daemon.'),
+    service: buildName('Name of the service.'),
+    version: buildName('Version of the service.'),
+  }),
+]);
+
+const ADMISSION_SCHEMA = z
+  .strictObject({
+    startLimit: buildCount(DEFAULT_START_LIMIT, 'Concurrent sequences after a start.'),
+    maxLimit: buildCount(DEFAULT_MAX_LIMIT, 'Largest admission limit.'),
+    memorySafetyShare: buildShare('Share of engine memory that is kept free.').optional(),
+  })
+  .refine((admission) => admission.startLimit <= admission.maxLimit, {
+    path: ['startLimit'],
+    error: 'expected a startLimit of at most maxLimit',
+  })
+  .prefault({});
+
+const BUFFER_SCHEMA = z
+  .strictObject({
+    maxChunks: buildCount(DEFAULT_MAX_CHUNKS, 'Chunks that are kept of one generation.'),
+    maxTotalBytes: buildCount(DEFAULT_BUFFER_BYTES, 'Bytes of the chunks of all generations.'),
+    retentionMs: buildDuration(
+      DEFAULT_BUFFER_RETENTION_MS,
+      'Time for which a finished generation can be resumed.',
+    ),
+    orphanTimeoutMs: buildDuration(
+      DEFAULT_ORPHAN_TIMEOUT_MS,
+      'Time after which a generation without a reader is cancelled.',
+    ),
+  })
+  .prefault({});
+
+const ANSWERS_SCHEMA = z
+  .strictObject({
+    maxBytes: buildCount(DEFAULT_ANSWER_BYTES, 'Bytes of the kept answers of plain services.'),
+    retentionMs: buildDuration(
+      DEFAULT_ANSWER_RETENTION_MS,
+      'Time for which the answer of a non-repeatable call is kept.',
+    ),
+  })
+  .prefault({});
+
+const HEARTBEAT_SCHEMA = z
+  .strictObject({
+    intervalMs: buildDuration(DEFAULT_HEARTBEAT_INTERVAL_MS, 'Time between two heartbeats.'),
+    leaseMs: buildDuration(
+      DEFAULT_LEASE_MS,
+      'Age of the last acknowledged heartbeat beyond which new work is refused.',
+    ),
+    subsetSize: buildCount(DEFAULT_SUBSET_SIZE, 'Entry daemons that receive the heartbeats.'),
+  })
+  .refine((heartbeat) => heartbeat.intervalMs < heartbeat.leaseMs, {
+    path: ['intervalMs'],
+    error: 'expected an intervalMs below leaseMs',
+  })
+  .prefault({});
+
+/** Schema of the settings of an endpoint daemon. */
+export const ENDPOINT_SCHEMA = z.strictObject({
+  process: buildName('Name of the process in events and time lines.'),
+  instance: buildName('Instance on which the process runs, as in the instance list.'),
+  endpoint: buildName('Name of the endpoint.'),
+  dataCentre: buildName('Data centre of the instance.'),
+  http: buildAddress('the health, metrics and debug pages'),
+  rpc: buildAddress('the interface for entry daemons'),
+  platform: z.strictObject({ listUrl: buildUrl("URL of the platform's instance list.") }),
+  target: TARGET_SCHEMA,
+  admission: ADMISSION_SCHEMA,
+  buffer: BUFFER_SCHEMA,
+  answers: ANSWERS_SCHEMA,
+  heartbeat: HEARTBEAT_SCHEMA,
+  drainMs: buildDuration(DEFAULT_DRAIN_MS, 'Time for running streams when the daemon stops.'),
+  log: LOG_SCHEMA,
+});
--- /dev/null
+++ b/packages/settings/entrySchema.ts
@@ -0,0 +1,133 @@
+import { z } from 'zod';
+import {
+  DEFAULT_DRAIN_MS,
+  DEFAULT_KEY_WINDOW_MS,
+  DEFAULT_MAX_BODY_BYTES,
+  DEFAULT_MAX_REQUESTS,
+  DEFAULT_MAX_UNTIMED_KEYS,
+  DEFAULT_POLICY,
+  DEFAULT_QUEUE_CAPACITY,
+  MIN_TICKET_KEY_LENGTH,
+} from './constants.js';
+import {
+  LOG_SCHEMA,
+  buildAddress,
+  buildCount,
+  buildDuration,
+  buildKeyHash,
+  buildName,
+  buildShare,
+  buildUrl,
+} from './fields.js';
+import { addDuplicateProblems } from './duplicates.js';
+
+const CUSTOMER_SCHEMA = z.strictObject({
+  id: buildName('Name of the customer.'),
+  keyHash: buildKeyHash("SHA-256 of the customer's bearer key in hexadecimal."),
+  weight: z.number().positive().default(1).describe('Share of the customer in a crowded queue.'),
+  defaultClass: buildName('Class of requests without X-Chestnutspan-Class.').optional(),
+});
+
+const OPERATOR_SCHEMA = z.strictObject({
+  name: buildName('Name of the operator; it becomes the author of records.'),
+  keyHash: buildKeyHash("SHA-256 of the operator's bearer key in hexadecimal."),
+});
+
+const ROUTE_SCHEMA = z.strictObject({
+  method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']).describe('HTTP method.'),
+  path: z
+    .string()
+    .regex(/^(?:\/(?:[A-Za-z0-9._~-]+|\{[A-Za-z][A-Za-z0-9]*\}))+$/, {
+      error: 'expected a path pattern such as /sweeps or /balances/{account}',
+    })
+    .describe('Path pattern such as `/sweeps` or `/balances/{account}`.'),
+  repeat: z
+    .enum(['allowed', 'never'])
+    .describe('Whether a request may run more than once; `never` needs an idempotency key.'),
+  className: buildName('Class of the route, before the default of the customer.').optional(),
+});
+
+const SERVICE_SCHEMA = z.strictObject({
+  name: buildName('Name of the service in `/services/{name}/...`.'),
+  routes: z.array(ROUTE_SCHEMA).min(1).describe('Routes; others are refused.'),
+});
+
+const POLICY_SCHEMA = z
+  .discriminatedUnion('kind', [
+    z.strictObject({ kind: z.literal('round-robin').describe('One endpoint after the other.') }),
+    z.strictObject({
+      kind: z.literal('least-requests').describe('The endpoint with the fewest requests.'),
+    }),
+    z.strictObject({
+      kind: z
+        .literal('predicted-headroom')
+        .describe('The endpoint whose memory is least likely to overflow; the default policy.'),
+      choices: buildCount(DEFAULT_POLICY.choices, 'Endpoints that are weighed for one request.'),
+      horizonMs: buildDuration(
+        DEFAULT_POLICY.horizonMs,
+        'Time ahead for which the overflow of memory is predicted.',
+      ),
+      overflowProbability: buildShare(
+        'Largest predicted probability of an overflow at which a request is admitted.',
+      ).default(DEFAULT_POLICY.overflowProbability),
+      prefixWeight: z
+        .number()
+        .min(0)
+        .default(DEFAULT_POLICY.prefixWeight)
+        .describe('Weight of a cached prompt prefix in the score.'),
+    }),
+  ])
+  .prefault({ kind: DEFAULT_POLICY.kind });
+
+const LIMITS_SCHEMA = z
+  .strictObject({
+    maxBodyBytes: buildCount(DEFAULT_MAX_BODY_BYTES, 'Largest body of a request.'),
+    maxRequests: buildCount(DEFAULT_MAX_REQUESTS, 'Requests in progress; more are shed.'),
+    queueCapacity: buildCount(DEFAULT_QUEUE_CAPACITY, 'Requests that wait, for each class.'),
+    keyWindowMs: buildDuration(
+      DEFAULT_KEY_WINDOW_MS,
+      'Time for which the key of a non-repeatable call is remembered.',
+    ),
+    maxUntimedKeys: buildCount(
+      DEFAULT_MAX_UNTIMED_KEYS,
+      'Keys without a time of issue that are kept; more are refused.',
+    ),
+  })
+  .prefault({});
+
+/** Schema of the settings of an entry daemon. */
+export const ENTRY_SCHEMA = z
+  .strictObject({
+    process: buildName('Name of the process in events and time lines.'),
+    instance: buildName('Instance on which the process runs, as in the instance list.'),
+    dataCentre: buildName('Data centre of the instance.'),
+    callers: buildAddress("the callers' and operators' interface"),
+    rpc: buildAddress('the interface for endpoint daemons and peers'),
+    platform: z.strictObject({
+      logUrl: buildUrl("URL of the platform's log."),
+      listUrl: buildUrl("URL of the platform's instance list."),
+      weightsUrl: buildUrl("URL of the platform's weight store.").optional(),
+    }),
+    ticketKey: z
+      .string()
+      .min(MIN_TICKET_KEY_LENGTH, {
+        error: `expected a secret of at least ${MIN_TICKET_KEY_LENGTH.toString()} characters`,
+      })
+      .describe('Secret that signs resume tickets, the same at all entry daemons.'),
+    customers: z.array(CUSTOMER_SCHEMA).describe('Customers that may call.'),
+    operators: z.array(OPERATOR_SCHEMA).default([]).describe('Operators that may publish.'),
+    services: z.array(SERVICE_SCHEMA).default([]).describe('Plain services.'),
+    models: z.array(buildName('Name of a served model.')).default([]),
+    policy: POLICY_SCHEMA,
+    limits: LIMITS_SCHEMA,
+    drainMs: buildDuration(DEFAULT_DRAIN_MS, 'Time for running requests when the daemon stops.'),
+    webhookUrl: buildUrl('URL that receives notifications for operators.').optional(),
+    log: LOG_SCHEMA,
+  })
+  .superRefine((settings, context) => {
+    addDuplicateProblems(settings.customers, 'customers', 'id', context);
+    addDuplicateProblems(settings.customers, 'customers', 'keyHash', context);
+    addDuplicateProblems(settings.operators, 'operators', 'name', context);
+    addDuplicateProblems(settings.operators, 'operators', 'keyHash', context);
+    addDuplicateProblems(settings.services, 'services', 'name', context);
+  });
--- /dev/null
+++ b/packages/settings/load.ts
@@ -0,0 +1,85 @@
+import { readFileSync } from 'node:fs';
+import { getNodeValue, parseTree } from 'jsonc-parser';
+import type { ParseError } from 'jsonc-parser';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { ENDPOINT_SCHEMA } from './endpointSchema.js';
+import { ENTRY_SCHEMA } from './entrySchema.js';
+import { describeIssues, describeSyntax } from './problems.js';
+import type { SettingsByKind, SettingsKind, SettingsProblem } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+
+type Problems = readonly SettingsProblem[];
+
+const parseWith = (kind: SettingsKind, value: unknown) => {
+  switch (kind) {
+    case 'entry':
+      return ENTRY_SCHEMA.safeParse(value);
+    case 'endpoint':
+      return ENDPOINT_SCHEMA.safeParse(value);
+    default:
+      return assertNever(kind);
+  }
+};
+
+const readText = (path: string): Result<string, Problems> => {
+  try {
+    return Ok(readFileSync(path, 'utf8'));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Err([
+      { path: '', line: 1, column: 1, expected: `expected a readable file (${reason})` },
+    ]);
+  }
+};
+
+/**
+ * Checks the text of a settings file and fills in its defaults.
+ *
+ * @param text - JSON with comments
+ * @param kind - daemon that the file is for
+ * @returns the settings, or every problem with its place
+ */
+export const parseSettings = <Kind extends SettingsKind>(
+  text: string,
+  kind: Kind,
+): Result<SettingsByKind[Kind], Problems> => {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  if (errors.length > 0) return Err(describeSyntax(errors, text));
+  const value: unknown = root === undefined ? undefined : getNodeValue(root);
+  const parsed = parseWith(kind, value);
+  if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
+  return Ok(parsed.data as SettingsByKind[Kind]);
+};
+
+/**
+ * Reads and checks a settings file. Nothing else happens: no address is opened.
+ *
+ * @param path - file of JSON with comments
+ * @param kind - daemon that the file is for
+ * @returns the settings with all defaults, or every problem with field path, line and column
+ */
+export const loadSettings = <Kind extends SettingsKind>(
+  path: string,
+  kind: Kind,
+): Result<SettingsByKind[Kind], Problems> =>
+  readText(path).andThen((text) => parseSettings(text, kind));
+
+/**
+ * Finds out for which daemon a settings file is written.
+ *
+ * @param path - file of JSON with comments
+ * @returns the kind, or the problem of a file that cannot be read or names neither daemon
+ */
+export const findSettingsKind = (path: string): Result<SettingsKind, Problems> =>
+  readText(path).andThen((text) => {
+    const root = parseTree(text);
+    const value: unknown = root === undefined ? undefined : getNodeValue(root);
+    if (typeof value === 'object' && value !== null) {
+      if ('target' in value || 'endpoint' in value) return Ok('endpoint');
+      if ('callers' in value || 'customers' in value) return Ok('entry');
+    }
+    const expected = 'expected `callers` (entry daemon) or `target` (endpoint daemon)';
+    return Err([{ path: '', line: 1, column: 1, expected }]);
+  });
