Add the merge of event logs into one causal order

Sequence, messages and log offsets order the events; clock offsets estimated from messages decide only between events that nothing else orders.

--- /dev/null
+++ b/packages/timeline/clocks.ts
@@ -0,0 +1,86 @@
+import { buildMessageEdges } from './edges.js';
+import type { EventTable } from './sources.js';
+import type { Millis } from '../core/clock.js';
+
+/** Bounds of the difference between two clocks, from the messages between their processes. */
+interface ClockBounds {
+  /** Smallest possible reading of the second clock minus that of the first. */
+  readonly low: Millis;
+  readonly high: Millis;
+}
+
+type BoundsTable = ReadonlyMap<number, ReadonlyMap<number, ClockBounds>>;
+
+const UNBOUNDED: ClockBounds = { low: Number.NEGATIVE_INFINITY, high: Number.POSITIVE_INFINITY };
+
+/** A message that left at `a` and arrived at `b` shows that the clocks differ by at most b - a. */
+const collectBounds = (table: EventTable): BoundsTable => {
+  const bounds = new Map<number, Map<number, ClockBounds>>();
+  const narrow = (first: number, second: number, low: Millis, high: Millis): void => {
+    const row = bounds.get(first) ?? new Map<number, ClockBounds>();
+    const known = row.get(second) ?? UNBOUNDED;
+    row.set(second, { low: Math.max(known.low, low), high: Math.min(known.high, high) });
+    bounds.set(first, row);
+  };
+  for (const edge of buildMessageEdges(table)) {
+    const sender = table.sourceOf[edge.from] ?? 0;
+    const receiver = table.sourceOf[edge.to] ?? 0;
+    const difference = (table.events[edge.to]?.at ?? 0) - (table.events[edge.from]?.at ?? 0);
+    narrow(sender, receiver, UNBOUNDED.low, difference);
+    narrow(receiver, sender, -difference, UNBOUNDED.high);
+  }
+  return bounds;
+};
+
+/** Takes the middle when messages went both ways, else the tightest message as without delay. */
+const estimateDifference = (bounds: ClockBounds): Millis => {
+  if (bounds.low === UNBOUNDED.low) return bounds.high;
+  if (bounds.high === UNBOUNDED.high) return bounds.low;
+  return (bounds.low + bounds.high) / 2;
+};
+
+interface Link {
+  readonly from: number;
+  readonly to: number;
+  readonly bounds: ClockBounds;
+}
+
+/** The link to a source not yet reached whose clock difference is known best. */
+const pickTightest = (
+  bounds: BoundsTable,
+  reached: ReadonlyMap<number, Millis>,
+): Link | undefined => {
+  let best: Link | undefined;
+  for (const from of reached.keys()) {
+    for (const [to, link] of bounds.get(from) ?? []) {
+      if (reached.has(to)) continue;
+      const width = link.high - link.low;
+      if (best === undefined || width < best.bounds.high - best.bounds.low) {
+        best = { from, to, bounds: link };
+      }
+    }
+  }
+  return best;
+};
+
+/**
+ * Estimates how far each process's clock is ahead of that of the first process it exchanges
+ * messages with, directly or through others.
+ *
+ * @param table - events of all processes
+ * @returns offset of each source's clock in milliseconds; 0 for a source without messages
+ */
+export const estimateClockOffsets = (table: EventTable): readonly Millis[] => {
+  const bounds = collectBounds(table);
+  const offsets = new Map<number, Millis>();
+  for (let root = 0; root < table.sources.length; root += 1) {
+    if (offsets.has(root)) continue;
+    offsets.set(root, 0);
+    for (;;) {
+      const link = pickTightest(bounds, offsets);
+      if (link === undefined) break;
+      offsets.set(link.to, (offsets.get(link.from) ?? 0) + estimateDifference(link.bounds));
+    }
+  }
+  return table.sources.map((_source, index) => offsets.get(index) ?? 0);
+};
--- /dev/null
+++ b/packages/timeline/edges.ts
@@ -0,0 +1,157 @@
+import type { CauseKind } from './types.js';
+import type { EventTable } from './sources.js';
+import type { EventName } from '../core/events/catalogue.js';
+
+/** One node comes before another. Nodes are event indices; higher ones are offset barriers. */
+export interface Edge {
+  readonly from: number;
+  readonly to: number;
+  readonly kind: CauseKind;
+}
+
+/** The partial order of the events. */
+export interface PartialOrder {
+  /** Number of nodes: the events and one barrier for each log offset. */
+  readonly nodes: number;
+  readonly edges: readonly Edge[];
+}
+
+/** Events that a process logs when its own append was answered. */
+const APPENDING_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
+  'intent-appended',
+  'outcome-appended',
+  'snapshot-appended',
+  'operator-record-accepted',
+]);
+
+const collectBy = <Key>(
+  table: EventTable,
+  findKey: (index: number) => Key | undefined,
+): ReadonlyMap<Key, readonly number[]> => {
+  const groups = new Map<Key, number[]>();
+  table.events.forEach((_event, index) => {
+    const key = findKey(index);
+    if (key === undefined) return;
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [index]);
+    else group.push(index);
+  });
+  return groups;
+};
+
+const buildSequenceEdges = (table: EventTable): readonly Edge[] =>
+  table.events.flatMap((_event, index): readonly Edge[] => {
+    const follows = index > 0 && table.sourceOf[index - 1] === table.sourceOf[index];
+    return follows ? [{ from: index - 1, to: index, kind: 'sequence' }] : [];
+  });
+
+/**
+ * Builds the edges from each message's sending to its arrival.
+ *
+ * An id that one process sent several times counts from its first sending; an id that several
+ * processes sent does not tell which message arrived and gives no edge.
+ *
+ * @param table - events of all processes
+ * @returns one edge for each arrival in another process
+ */
+export const buildMessageEdges = (table: EventTable): readonly Edge[] => {
+  const sends = collectBy(table, (index) => table.events[index]?.sent);
+  return table.events.flatMap((event, to): readonly Edge[] => {
+    const senders = event.received === undefined ? [] : (sends.get(event.received) ?? []);
+    const [from] = senders;
+    if (from === undefined || table.sourceOf[from] === table.sourceOf[to]) return [];
+    const isAmbiguous = senders.some((index) => table.sourceOf[index] !== table.sourceOf[from]);
+    return isAmbiguous ? [] : [{ from, to, kind: 'message' }];
+  });
+};
+
+const toPositionKey = (table: EventTable, index: number): string | undefined => {
+  const position = table.events[index]?.position;
+  return position === undefined ? undefined : JSON.stringify([position.stream, position.offset]);
+};
+
+const buildAppendEdges = (table: EventTable): readonly Edge[] => {
+  const groups = collectBy(table, (index) => toPositionKey(table, index));
+  return [...groups.values()].flatMap((group) => {
+    const from = group.find((index) =>
+      APPENDING_EVENTS.has(table.events[index]?.name as EventName),
+    );
+    if (from === undefined) return [];
+    return group
+      .filter((to) => table.sourceOf[to] !== table.sourceOf[from])
+      .map((to): Edge => ({ from, to, kind: 'append' }));
+  });
+};
+
+const collectOffsets = (
+  members: readonly number[],
+  offsetOf: (index: number) => number,
+): readonly (readonly number[])[] => {
+  const offsets = [...new Set(members.map(offsetOf))].sort((left, right) => left - right);
+  const groups = new Map(offsets.map((offset): [number, number[]] => [offset, []]));
+  for (const index of members) groups.get(offsetOf(index))?.push(index);
+  return [...groups.values()];
+};
+
+const buildBarrier = (
+  before: readonly number[],
+  barrier: number,
+  after: readonly number[],
+): readonly Edge[] => [
+  ...before.map((from): Edge => ({ from, to: barrier, kind: 'offset' })),
+  ...after.map((to): Edge => ({ from: barrier, to, kind: 'offset' })),
+];
+
+/**
+ * Finds for each event the highest offset that its process had met in the event's stream. A process
+ * that handles several records at once returns to lower offsets, and such an event is as late as
+ * the highest one.
+ */
+const findFronts = (table: EventTable): readonly number[] => {
+  const fronts = new Map<string, number>();
+  return table.events.map((event, index) => {
+    if (event.position === undefined) return -1;
+    const key = JSON.stringify([table.sourceOf[index], event.position.stream]);
+    const front = Math.max(fronts.get(key) ?? -1, event.position.offset);
+    fronts.set(key, front);
+    return front;
+  });
+};
+
+/** A barrier between two offsets of a stream keeps the number of edges linear in the events. */
+const buildOffsetOrder = (table: EventTable): PartialOrder => {
+  const streams = collectBy(table, (index) => table.events[index]?.position?.stream);
+  const fronts = findFronts(table);
+  const edges: Edge[] = [];
+  let nodes = table.events.length;
+  for (const members of streams.values()) {
+    const groups = collectOffsets(members, (index) => fronts[index] ?? -1);
+    groups.slice(1).forEach((after, place) => {
+      const before = groups[place] ?? [];
+      const earlierBarrier = place === 0 ? [] : [nodes - 1];
+      edges.push(...buildBarrier([...before, ...earlierBarrier], nodes, after));
+      nodes += 1;
+    });
+  }
+  return { nodes, edges };
+};
+
+/**
+ * Builds the partial order of the events: each process's own sequence, messages from sending to
+ * arrival, appends before their readers, and lower offsets of a stream before higher ones.
+ *
+ * @param table - events of all processes
+ * @returns nodes and edges; the edges of the last two kinds can contradict the others
+ */
+export const buildPartialOrder = (table: EventTable): PartialOrder => {
+  const offsets = buildOffsetOrder(table);
+  return {
+    nodes: offsets.nodes,
+    edges: [
+      ...buildSequenceEdges(table),
+      ...buildMessageEdges(table),
+      ...buildAppendEdges(table),
+      ...offsets.edges,
+    ],
+  };
+};
