--- /dev/null
+++ b/packages/timeline/explainMove.ts
@@ -0,0 +1,69 @@
+import { readNumber, readText } from './eventData.js';
+import type { MoveExplanation, MoveState, MoveStep } from './explainTypes.js';
+import type { MergedEvent } from './types.js';
+import type { EventName } from '../core/events/catalogue.js';
+import type { LoggedEvent } from '../core/events/types.js';
+
+/** Events of a move with the state that each leaves it in. */
+const MOVE_EVENTS: ReadonlyMap<EventName, MoveState> = new Map([
+  ['move-started', 'running'],
+  ['move-share-changed', 'running'],
+  ['move-stopped-locally', 'running'],
+  ['move-needs-operator', 'needs-operator'],
+  ['move-done', 'done'],
+  ['move-taken-back', 'taken-back'],
+]);
+
+const isTerminal = (event: LoggedEvent): boolean =>
+  event.name === 'move-done' || event.name === 'move-taken-back';
+
+/** The first terminal record in log order is final; events without offset come after those with. */
+const findTerminal = (events: readonly LoggedEvent[]): LoggedEvent | undefined => {
+  const offsetOf = (event: LoggedEvent): number =>
+    event.position?.offset ?? Number.POSITIVE_INFINITY;
+  return events
+    .filter(isTerminal)
+    .reduce<LoggedEvent | undefined>(
+      (first, event) => (first === undefined || offsetOf(event) < offsetOf(first) ? event : first),
+      undefined,
+    );
+};
+
+const describeStep = (event: LoggedEvent): MoveStep => {
+  const share = readNumber(event, 'share');
+  const evidence = readText(event, 'evidence');
+  const reason = readText(event, 'reason');
+  return {
+    process: event.process,
+    name: event.name,
+    ...(share === undefined ? {} : { share }),
+    ...(evidence === undefined ? {} : { evidence }),
+    ...(reason === undefined ? {} : { reason }),
+    ...(event.position === undefined ? {} : { offset: event.position.offset }),
+  };
+};
+
+/**
+ * Explains one version move: its shares with the evidence for each, and why it ended.
+ *
+ * @param events - merged events of all processes
+ * @param move - name of the move
+ * @returns the explanation; its state is `unknown` when no event names the move
+ */
+export const explainMove = (events: readonly MergedEvent[], move: string): MoveExplanation => {
+  const own = events
+    .map(({ event }) => event)
+    .filter((event) => event.entity === move && MOVE_EVENTS.has(event.name));
+  const terminal = findTerminal(own);
+  const last = terminal ?? own.at(-1);
+  const steps = own.map(describeStep);
+  const lastShare = steps.findLast((step) => step.share !== undefined)?.share;
+  const endedAt = terminal?.position?.offset;
+  return {
+    move,
+    state: last === undefined ? 'unknown' : (MOVE_EVENTS.get(last.name) ?? 'unknown'),
+    ...(endedAt === undefined ? {} : { endedAt }),
+    ...(lastShare === undefined ? {} : { lastShare }),
+    steps,
+  };
+};
--- /dev/null
+++ b/packages/timeline/explainRequest.ts
@@ -0,0 +1,159 @@
+import { readList, readNumber, readText } from './eventData.js';
+import type {
+  Attempt,
+  Explanation,
+  PlacementStep,
+  Refusal,
+  RequestEnd,
+  Wait,
+} from './explainTypes.js';
+import type { MergedEvent } from './types.js';
+import type { EventName } from '../core/events/catalogue.js';
+import type { LoggedEvent } from '../core/events/types.js';
+
+/** Events that end a caller's request, with the end they mean. */
+const END_EVENTS: ReadonlyMap<EventName, RequestEnd> = new Map([
+  ['request-finished', 'finished'],
+  ['request-failed', 'failed'],
+  ['request-cancelled', 'cancelled'],
+  ['request-shed', 'shed'],
+  ['key-replayed', 'replayed'],
+]);
+
+const REFUSAL_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
+  'request-failed',
+  'request-shed',
+  'request-quarantined',
+  'work-refused',
+  'intent-void',
+]);
+
+/** Events that follow a wait in the queue. */
+const QUEUE_END_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
+  'request-placed',
+  'request-failed',
+  'request-cancelled',
+  'request-shed',
+]);
+
+const findEnd = (events: readonly LoggedEvent[]): RequestEnd => {
+  if (events.length === 0) return 'unknown';
+  const ends = events.flatMap((event) => END_EVENTS.get(event.name) ?? []);
+  return ends.at(-1) ?? 'in-progress';
+};
+
+const readEndpoint = (event: LoggedEvent): string =>
+  event.endpoint ?? readText(event, 'endpoint') ?? 'unknown';
+
+const collectPlacements = (events: readonly LoggedEvent[]): readonly PlacementStep[] =>
+  events
+    .filter((event) => event.name === 'request-placed')
+    .map((event) => ({
+      process: event.process,
+      candidates: readList(event, 'candidates'),
+      chosen: readText(event, 'chosen') ?? event.endpoint ?? 'unknown',
+      reason: readText(event, 'reason') ?? 'not recorded',
+    }));
+
+const isSameIncarnation = (left: LoggedEvent, right: LoggedEvent): boolean =>
+  left.process === right.process && left.incarnation === right.incarnation;
+
+/** An attempt ends with the next end for its endpoint in the same process. */
+const findAttemptEnds = (events: readonly LoggedEvent[]): ReadonlyMap<LoggedEvent, LoggedEvent> => {
+  const open: LoggedEvent[] = [];
+  const ends = new Map<LoggedEvent, LoggedEvent>();
+  for (const event of events) {
+    if (event.name === 'attempt-started') open.push(event);
+    if (event.name !== 'attempt-ended') continue;
+    const index = open.findIndex(
+      (start) => isSameIncarnation(start, event) && readEndpoint(start) === readEndpoint(event),
+    );
+    const [start] = index < 0 ? [] : open.splice(index, 1);
+    if (start !== undefined) ends.set(start, event);
+  }
+  return ends;
+};
+
+const describeAttempt = (start: LoggedEvent, end: LoggedEvent | undefined): Attempt => {
+  const code = end && readText(end, 'code');
+  return {
+    process: start.process,
+    endpoint: readEndpoint(start),
+    ...(start.sent === undefined ? {} : { sent: start.sent }),
+    verdict: end === undefined ? 'in-progress' : (readText(end, 'verdict') ?? 'not recorded'),
+    ...(code === undefined ? {} : { code }),
+    ...(end === undefined ? {} : { durationMs: end.at - start.at }),
+  };
+};
+
+const collectAttempts = (events: readonly LoggedEvent[]): readonly Attempt[] => {
+  const ends = findAttemptEnds(events);
+  return events
+    .filter((event) => event.name === 'attempt-started')
+    .map((start) => describeAttempt(start, ends.get(start)));
+};
+
+const describeQueueing = (events: readonly LoggedEvent[], index: number): readonly Wait[] => {
+  const event = events[index] as LoggedEvent;
+  const end = events
+    .slice(index + 1)
+    .find((later) => isSameIncarnation(later, event) && QUEUE_END_EVENTS.has(later.name));
+  return [
+    {
+      process: event.process,
+      kind: 'queued',
+      cause: readText(event, 'reason') ?? 'not recorded',
+      ...(end === undefined ? {} : { durationMs: end.at - event.at }),
+    },
+  ];
+};
+
+const describeStall = (event: LoggedEvent): readonly Wait[] => {
+  const durationMs = readNumber(event, 'stallMs');
+  return [
+    {
+      process: event.process,
+      kind: 'stalled',
+      cause: readText(event, 'cause') ?? 'not recorded',
+      ...(durationMs === undefined ? {} : { durationMs }),
+    },
+  ];
+};
+
+const collectWaits = (events: readonly LoggedEvent[]): readonly Wait[] =>
+  events.flatMap((event, index) => {
+    if (event.name === 'request-queued') return describeQueueing(events, index);
+    return event.name === 'stream-stalled' ? describeStall(event) : [];
+  });
+
+const collectRefusals = (events: readonly LoggedEvent[]): readonly Refusal[] =>
+  events
+    .filter((event) => REFUSAL_EVENTS.has(event.name))
+    .map((event) => ({
+      process: event.process,
+      name: event.name,
+      code: readText(event, 'code') ?? 'not recorded',
+      verdict: readText(event, 'verdict') ?? 'not recorded',
+      reason: readText(event, 'reason') ?? readText(event, 'message') ?? 'not recorded',
+    }));
+
+/**
+ * Explains one request: which endpoints were weighed, what spoke for the chosen one, how each
+ * attempt ended, where it waited and why it was refused.
+ *
+ * @param events - merged events of all processes
+ * @param requestId - the request
+ * @returns the explanation; its end is `unknown` when no event names the request
+ */
+export const explainRequest = (events: readonly MergedEvent[], requestId: string): Explanation => {
+  const own = events.map(({ event }) => event).filter((event) => event.requestId === requestId);
+  return {
+    requestId,
+    end: findEnd(own),
+    placements: collectPlacements(own),
+    attempts: collectAttempts(own),
+    waits: collectWaits(own),
+    refusals: collectRefusals(own),
+    events: own.length,
+  };
+};
--- a/packages/timeline/merge.test.ts
+++ b/packages/timeline/merge.test.ts
@@ -1,36 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { mergeTimelines, selectEvents } from './merge.js';
+import { buildEvent, buildLog } from './testEvents.js';
 import type { MergedEvent, ProcessLog } from './types.js';
 import type { EventDetails, LoggedEvent } from '../core/events/types.js';
 
 const RUNS = { seed: 20_241, numRuns: 300 };
 
-const buildEvent = (
-  process: string,
-  sequence: number,
-  at: number,
-  details: EventDetails = {},
-  name: LoggedEvent['name'] = 'request-received',
-): LoggedEvent => ({
-  number: 2001,
-  name,
-  level: 'info',
-  sequence,
-  at,
-  process,
-  role: 'entry',
-  incarnation: '1',
-  ...details,
-});
-
-const buildLog = (process: string, events: readonly LoggedEvent[]): ProcessLog => ({
-  process,
-  role: 'entry',
-  incarnation: '1',
-  events,
-});
-
 const findOrder = (
   merged: readonly MergedEvent[],
   matches: (event: LoggedEvent) => boolean,
--- /dev/null
+++ b/packages/timeline/renderText.ts
@@ -0,0 +1,68 @@
+import type { MergedEvent } from './types.js';
+import type { LoggedEvent } from '../core/events/types.js';
+
+type DataValue = NonNullable<LoggedEvent['data']>[string];
+
+const formatValue = (value: DataValue): string => {
+  if (typeof value === 'object') return `[${value.join('; ')}]`;
+  return typeof value === 'string' && /\s/.test(value) ? JSON.stringify(value) : String(value);
+};
+
+/**
+ * Formats an instant. Times that are no date, as of a virtual clock, stay numbers.
+ *
+ * @param at - milliseconds since the epoch
+ * @returns ISO time, or the number
+ */
+export const formatTime = (at: number): string => {
+  const date = new Date(at);
+  return Number.isNaN(date.getTime()) ? at.toString() : date.toISOString();
+};
+
+/**
+ * Describes what an event tells, without its process and time.
+ *
+ * @param event - one event
+ * @returns name and fields on one line
+ */
+export const describeEvent = (event: LoggedEvent): string => {
+  const position = event.position;
+  const fields: readonly (readonly [string, DataValue | undefined])[] = [
+    ['request', event.requestId],
+    ['endpoint', event.endpoint],
+    ['data-centre', event.dataCentre],
+    ['entity', event.entity],
+    ['log', position && `${position.stream}@${position.offset.toString()}`],
+    ['sent', event.sent],
+    ['received', event.received],
+    ...Object.entries(event.data ?? {}),
+  ];
+  const texts = fields.flatMap(([name, value]) =>
+    value === undefined ? [] : [`${name}=${formatValue(value)}`],
+  );
+  return [event.name, ...texts].join(' ');
+};
+
+const formatCauses = ({ causes }: MergedEvent): string =>
+  causes.length === 0
+    ? ''
+    : ` after ${causes.map(({ order, kind }) => `#${order.toString()} (${kind})`).join(', ')}`;
+
+/**
+ * Renders merged events as text, one line each.
+ *
+ * @param events - events in merged order
+ * @returns lines with order, estimated time, process, name and fields
+ */
+export const renderTimelineText = (events: readonly MergedEvent[]): string => {
+  const width = events.reduce((most, { event }) => Math.max(most, event.process.length), 0);
+  return events
+    .map((merged) => {
+      const { event, order, estimatedAt } = merged;
+      const place = `#${order.toString()}`.padEnd(7);
+      const process = event.process.padEnd(width);
+      const text = `${describeEvent(event)}${formatCauses(merged)}`;
+      return `${place} ${formatTime(estimatedAt)} ${process} ${text}\n`;
+    })
+    .join('');
+};
