--- a/packages/core/verdict.ts
+++ b/packages/core/verdict.ts
@@ -4,34 +4,37 @@
 export type Verdict = 'not-run' | 'may-have-run' | 'ran';
 
 /** Every reason for which a request can fail. */
-export type FailureCode =
-  | 'bad-request'
-  | 'unauthorized'
-  | 'unknown-class'
-  | 'unknown-model'
-  | 'unknown-service'
-  | 'unsupported-format'
-  | 'too-large'
-  | 'overloaded'
-  | 'shed'
-  | 'no-endpoint'
-  | 'draining'
-  | 'data-centre-out'
-  | 'stale-incarnation'
-  | 'deadline-exceeded'
-  | 'endpoint-failed'
-  | 'endpoint-lost'
-  | 'stream-lost'
-  | 'key-expired'
-  | 'key-conflict'
-  | 'key-in-flight'
-  | 'key-unresolved'
-  | 'log-unavailable'
-  | 'quarantined'
-  | 'fenced'
-  | 'cancelled'
-  | 'lost-race'
-  | 'internal';
+export const FAILURE_CODES = [
+  'bad-request',
+  'unauthorized',
+  'unknown-class',
+  'unknown-model',
+  'unknown-service',
+  'unsupported-format',
+  'too-large',
+  'overloaded',
+  'shed',
+  'no-endpoint',
+  'draining',
+  'data-centre-out',
+  'stale-incarnation',
+  'deadline-exceeded',
+  'endpoint-failed',
+  'endpoint-lost',
+  'stream-lost',
+  'key-expired',
+  'key-conflict',
+  'key-in-flight',
+  'key-unresolved',
+  'log-unavailable',
+  'quarantined',
+  'fenced',
+  'cancelled',
+  'lost-race',
+  'internal',
+] as const;
+
+export type FailureCode = (typeof FAILURE_CODES)[number];
 
 /** A failure together with what is known about the request's execution. */
 export interface Failure {
--- /dev/null
+++ b/packages/wire/resumeTicket.ts
@@ -0,0 +1,101 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { parse, stringify } from 'uuid';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { Millis } from '../core/clock.js';
+import type { CustomerId, EndpointId, GenerationId, Incarnation } from '../core/ids.js';
+
+/** What any entry daemon needs to resume a stream; the caller carries it as the SSE event id. */
+export interface ResumeTicket {
+  readonly generationId: GenerationId;
+  readonly endpoint: EndpointId;
+  readonly incarnation: Incarnation;
+  readonly customer: CustomerId;
+  readonly expiresAt: Millis;
+}
+
+export interface ResumePoint {
+  readonly ticket: ResumeTicket;
+  /** Number of the last chunk that the caller received. */
+  readonly lastNumber: number;
+}
+
+export type TicketProblem = 'malformed' | 'wrong-signature' | 'expired';
+
+const UUID_BYTES = 16;
+const EXPIRY_BYTES = 6;
+const MAC_BYTES = 12;
+const NAMES_AT = 2 * UUID_BYTES + EXPIRY_BYTES;
+
+const sign = (payload: Buffer, key: string): Buffer =>
+  createHmac('sha256', key).update(payload).digest().subarray(0, MAC_BYTES);
+
+/**
+ * Signs a resume ticket.
+ *
+ * The ticket replaces a table of streams that all entry daemons would share.
+ *
+ * @param ticket - content of the ticket
+ * @param key - secret shared by all entry daemons
+ * @returns the signed ticket, safe in an SSE event id
+ */
+export const signTicket = (ticket: ResumeTicket, key: string): string => {
+  const expiry = Buffer.alloc(EXPIRY_BYTES);
+  expiry.writeUIntBE(Math.round(ticket.expiresAt), 0, EXPIRY_BYTES);
+  const payload = Buffer.concat([
+    parse(ticket.generationId),
+    parse(ticket.incarnation),
+    expiry,
+    Buffer.from(`${ticket.endpoint}\0${ticket.customer}`, 'utf8'),
+  ]);
+  return Buffer.concat([sign(payload, key), payload]).toString('base64url');
+};
+
+const decodeTicket = (text: string, key: string): Result<ResumeTicket, TicketProblem> => {
+  const bytes = Buffer.from(text, 'base64url');
+  if (bytes.length < MAC_BYTES + NAMES_AT + 1) return Err('malformed');
+  const payload = bytes.subarray(MAC_BYTES);
+  if (!timingSafeEqual(sign(payload, key), bytes.subarray(0, MAC_BYTES))) {
+    return Err('wrong-signature');
+  }
+  const [endpoint = '', customer = ''] = payload.subarray(NAMES_AT).toString('utf8').split('\0');
+  return Ok({
+    generationId: stringify(payload.subarray(0, UUID_BYTES)),
+    incarnation: stringify(payload.subarray(UUID_BYTES, 2 * UUID_BYTES)),
+    endpoint,
+    customer,
+    expiresAt: payload.readUIntBE(2 * UUID_BYTES, EXPIRY_BYTES),
+  });
+};
+
+/**
+ * Formats the event id of one chunk.
+ *
+ * @param signedTicket - result of `signTicket`
+ * @param number - number of the chunk
+ * @returns the event id
+ */
+export const formatEventId = (signedTicket: string, number: number): string =>
+  `${signedTicket}.${number.toString()}`;
+
+/**
+ * Reads a `Last-Event-ID` header.
+ *
+ * @param eventId - value of the header
+ * @param key - secret shared by all entry daemons
+ * @param now - current instant
+ * @returns the resume point, or what is wrong with the id
+ */
+export const verifyEventId = (
+  eventId: string,
+  key: string,
+  now: Millis,
+): Result<ResumePoint, TicketProblem> => {
+  const match = /^([\w-]+)\.(\d{1,9})$/.exec(eventId);
+  const [, text, number] = match ?? [];
+  if (text === undefined || number === undefined) return Err('malformed');
+  const decoded = decodeTicket(text, key);
+  if (decoded.isErr()) return decoded;
+  if (decoded.value.expiresAt <= now) return Err('expired');
+  return Ok({ ticket: decoded.value, lastNumber: Number(number) });
+};
