--- /dev/null
+++ b/packages/core/metrics/metrics.ts
@@ -0,0 +1,69 @@
+import { Gauge, Registry } from 'prom-client';
+import { createLatencyHistogram } from './latency.js';
+import type { LatencyHistogram } from './latency.js';
+import type { Millis } from '../clock.js';
+
+const QUANTILES: readonly number[] = [0.5, 0.95, 0.99, 0.999];
+
+/** Counters, gauges and latency histograms of one process. */
+export interface Metrics {
+  readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
+  readonly recordLatency: (name: string, className: string, duration: Millis) => void;
+  readonly setGauge: (name: string, value: number) => void;
+  /** Renders the text format of the `/metrics` page. */
+  readonly renderText: () => Promise<string>;
+}
+
+/**
+ * Creates the metrics of a process. Latencies are kept in HDR histograms and shown as quantiles.
+ *
+ * @returns empty metrics
+ */
+export const createMetrics = (): Metrics => {
+  const registry = new Registry();
+  const gauges = new Map<string, Gauge>();
+  const latencies = new Map<string, Map<string, LatencyHistogram>>();
+
+  const findGauge = (name: string, labelNames: readonly string[]): Gauge => {
+    const known = gauges.get(name);
+    if (known !== undefined) return known;
+    const help = name.replaceAll('_', ' ');
+    const gauge = new Gauge({ name, help, labelNames: [...labelNames], registers: [registry] });
+    gauges.set(name, gauge);
+    return gauge;
+  };
+
+  const publishLatencies = (): void => {
+    for (const [name, classes] of latencies) {
+      const gauge = findGauge(name, ['class', 'quantile']);
+      const count = findGauge(`${name}_count`, ['class']);
+      for (const [className, histogram] of classes) {
+        count.set({ class: className }, histogram.getCount());
+        for (const quantile of QUANTILES) {
+          const labels = { class: className, quantile: quantile.toString() };
+          gauge.set(labels, histogram.getQuantile(quantile));
+        }
+      }
+    }
+  };
+
+  return {
+    addCount: (name, labels) => {
+      findGauge(name, Object.keys(labels)).inc({ ...labels });
+    },
+    recordLatency: (name, className, duration) => {
+      const classes = latencies.get(name) ?? new Map<string, LatencyHistogram>();
+      latencies.set(name, classes);
+      const histogram = classes.get(className) ?? createLatencyHistogram();
+      classes.set(className, histogram);
+      histogram.record(duration);
+    },
+    setGauge: (name, value) => {
+      findGauge(name, []).set(value);
+    },
+    renderText: () => {
+      publishLatencies();
+      return registry.metrics();
+    },
+  };
+};
--- /dev/null
+++ b/packages/endpoint/engine/engineClient.ts
@@ -0,0 +1,254 @@
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createParser } from 'eventsource-parser';
+import { z } from 'zod';
+import { ENGINE_CONNECTIONS, ENGINE_PROBE_TIMEOUT_MS } from './constants.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type { GenerationId } from '../../core/ids.js';
+import type { EndpointEvent, GenerateCall, ServiceAnswer, ServiceCall } from '../types.js';
+
+const healthSchema = z.object({
+  status: z.enum(['warming', 'ready', 'failing']),
+  startId: z.string(),
+});
+
+const loadSchema = z.object({
+  startId: z.string(),
+  running: z.number(),
+  waiting: z.number(),
+  memoryUsedTokens: z.number(),
+  memoryTotalTokens: z.number(),
+  tokensPerSecond: z.number(),
+  preemptions: z.number(),
+  ageMs: z.number(),
+});
+
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number(),
+      kind: z.enum(['stored', 'evicted']),
+      prefix: z.string(),
+      at: z.number(),
+    }),
+  ),
+  next: z.number(),
+});
+
+const chunkSchema = z.object({
+  choices: z.array(z.unknown()),
+  usage: z.unknown().optional(),
+});
+
+/** Network errors that prove that the request did not reach the endpoint. */
+const UNSENT_ERRORS: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+]);
+
+const getErrorCode = (error: unknown): string =>
+  error instanceof Error && 'code' in error ? String(error.code) : '';
+
+const getErrorText = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
+
+const toFailure = (error: unknown): Failure =>
+  UNSENT_ERRORS.has(getErrorCode(error))
+    ? createFailure('not-run', 'endpoint-lost', `endpoint unreachable: ${getErrorText(error)}`)
+    : createFailure('may-have-run', 'endpoint-lost', `endpoint failed: ${getErrorText(error)}`);
+
+const toStatusFailure = (status: number, text: string): Failure => {
+  const detail = `endpoint answered ${status.toString()}: ${text.slice(0, 500)}`;
+  if (status === 429) return createFailure('not-run', 'overloaded', detail);
+  if (status >= 400 && status < 500) return createFailure('not-run', 'bad-request', detail);
+  return createFailure('may-have-run', 'endpoint-failed', detail);
+};
+
+/** Priority numbers of the chat-completions interface: a lower number runs first. */
+const ENGINE_PRIORITIES = { critical: 0, standard: 10, background: 20 } as const;
+
+export interface EngineClient {
+  readonly fetchHealth: () => void;
+  readonly fetchLoad: () => void;
+  readonly fetchCacheEvents: (from: number) => void;
+  readonly startGeneration: (generationId: GenerationId, call: GenerateCall) => void;
+  readonly cancelGeneration: (generationId: GenerationId) => void;
+  readonly callService: (call: ServiceCall) => void;
+  readonly close: () => Promise<void>;
+}
+
+/**
+ * Creates the adapter to the endpoint's HTTP interface. Each completion becomes an event.
+ *
+ * @param baseUrl - address of the engine or service
+ * @param post - receives the completions
+ * @returns the adapter
+ */
+export const createEngineClient = (
+  baseUrl: string,
+  post: (event: EndpointEvent) => void,
+): EngineClient => {
+  const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 1, bodyTimeout: 0 });
+  const running = new Map<GenerationId, AbortController>();
+
+  const fetchJson = async (path: string): Promise<unknown> => {
+    const answer = await request(`${baseUrl}${path}`, {
+      dispatcher: agent,
+      signal: AbortSignal.timeout(ENGINE_PROBE_TIMEOUT_MS),
+    });
+    const body: unknown = await answer.body.json();
+    if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode.toString()}`);
+    return body;
+  };
+
+  const fetchHealth = (): void => {
+    fetchJson('/health').then(
+      (body) => {
+        const parsed = healthSchema.safeParse(body);
+        post(
+          parsed.success
+            ? { to: 'engine', kind: 'health-received', health: parsed.data }
+            : { to: 'engine', kind: 'health-failed', reason: z.prettifyError(parsed.error) },
+        );
+      },
+      (error: unknown) => {
+        post({ to: 'engine', kind: 'health-failed', reason: getErrorText(error) });
+      },
+    );
+  };
+
+  const fetchLoad = (): void => {
+    fetchJson('/load').then(
+      (body) => {
+        const parsed = loadSchema.safeParse(body);
+        if (parsed.success) post({ to: 'engine', kind: 'load-received', load: parsed.data });
+      },
+      (error: unknown) => {
+        post({ to: 'engine', kind: 'health-failed', reason: getErrorText(error) });
+      },
+    );
+  };
+
+  const fetchCacheEvents = (from: number): void => {
+    fetchJson(`/cache-events?from=${from.toString()}`).then(
+      (body) => {
+        const parsed = cacheEventsSchema.safeParse(body);
+        if (!parsed.success) return;
+        post({ to: 'engine', kind: 'cache-events-received', ...parsed.data });
+      },
+      // Cache events are hints that arrive late anyway; the next poll asks again.
+      () => undefined,
+    );
+  };
+
+  const readChunks = async (generationId: GenerationId, body: Dispatcher.ResponseData['body']) => {
+    const progress: { state: 'open' | 'done'; usage: string } = { state: 'open', usage: '' };
+    let choices: string[] = [];
+    const parser = createParser({
+      onEvent: (event) => {
+        if (event.data === '[DONE]') {
+          progress.state = 'done';
+          return;
+        }
+        const chunk = chunkSchema.parse(JSON.parse(event.data));
+        if (chunk.usage !== undefined && chunk.usage !== null) {
+          progress.usage = JSON.stringify(chunk.usage);
+        }
+        if (chunk.choices.length > 0) choices.push(JSON.stringify(chunk.choices));
+      },
+    });
+    const decoder = new TextDecoder();
+    for await (const part of body) {
+      parser.feed(decoder.decode(part as Uint8Array, { stream: true }));
+      if (choices.length > 0) {
+        post({ to: 'streams', kind: 'engine-chunks', generationId, choices });
+        choices = [];
+      }
+    }
+    if (progress.state === 'open') {
+      throw new Error('the engine ended the stream before its end mark');
+    }
+    post({ to: 'streams', kind: 'engine-finished', generationId, usage: progress.usage });
+  };
+
+  const generate = async (generationId: GenerationId, call: GenerateCall): Promise<void> => {
+    const controller = new AbortController();
+    running.set(generationId, controller);
+    try {
+      const body = JSON.parse(Buffer.from(call.body).toString('utf8')) as Record<string, unknown>;
+      const answer = await request(`${baseUrl}/v1/chat/completions`, {
+        method: 'POST',
+        dispatcher: agent,
+        signal: controller.signal,
+        headersTimeout: 0,
+        headers: {
+          'content-type': 'application/json',
+          'x-request-id': call.requestId,
+          'x-chestnutspan-class': call.className,
+          'x-chestnutspan-route': call.route,
+        },
+        body: JSON.stringify({
+          ...body,
+          stream: true,
+          stream_options: { include_usage: true },
+          priority: ENGINE_PRIORITIES[call.importance],
+        }),
+      });
+      if (answer.statusCode !== 200) {
+        const failure = toStatusFailure(answer.statusCode, await answer.body.text());
+        post({ to: 'streams', kind: 'engine-failed', generationId, failure });
+        return;
+      }
+      await readChunks(generationId, answer.body);
+    } catch (error) {
+      if (controller.signal.aborted) return;
+      post({ to: 'streams', kind: 'engine-failed', generationId, failure: toFailure(error) });
+    } finally {
+      running.delete(generationId);
+    }
+  };
+
+  const toAnswer = async (answer: Dispatcher.ResponseData): Promise<ServiceAnswer> => {
+    const body = new Uint8Array(await answer.body.arrayBuffer());
+    const type = answer.headers['content-type'];
+    const headers = typeof type === 'string' ? [{ name: 'content-type', value: type }] : [];
+    return { status: answer.statusCode, headers, body };
+  };
+
+  const callOnce = async (call: ServiceCall): Promise<void> => {
+    try {
+      const answer = await request(`${baseUrl}${call.path}`, {
+        method: call.method as Dispatcher.HttpMethod,
+        dispatcher: agent,
+        signal: AbortSignal.timeout(Math.max(1, Math.ceil(call.deadlineMs))),
+        headers: Object.fromEntries(call.headers.map(({ name, value }) => [name, value])),
+        body: call.body.length > 0 ? call.body : null,
+      });
+      const complete = await toAnswer(answer);
+      post({ to: 'calls', kind: 'service-answered', callId: call.callId, answer: complete });
+    } catch (error) {
+      post({
+        to: 'calls',
+        kind: 'service-failed',
+        callId: call.callId,
+        failure: toFailure(error),
+      });
+    }
+  };
+
+  return {
+    fetchHealth,
+    fetchLoad,
+    fetchCacheEvents,
+    startGeneration: (generationId, call) => void generate(generationId, call),
+    cancelGeneration: (generationId) => {
+      running.get(generationId)?.abort();
+      running.delete(generationId);
+    },
+    callService: (call) => void callOnce(call),
+    close: () => agent.destroy(),
+  };
+};
--- /dev/null
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -0,0 +1,131 @@
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import type { Client } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import type { Clock } from '../../core/clock.js';
+import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
+import {
+  EntryService,
+  HeartbeatRequestSchema,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type {
+  HeartbeatRequest,
+  HeartbeatResponse,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type { EndpointEvent, HeartbeatAnswer, HeartbeatContent } from '../types.js';
+
+/** What every heartbeat of this process says about its identity. */
+export interface HeartbeatIdentity {
+  readonly endpoint: string;
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly model: string;
+  readonly version: string;
+  readonly service: string;
+  readonly rpcUrl: string;
+  readonly httpUrl: string;
+}
+
+export interface EntryClient {
+  readonly sendHeartbeat: (url: string, content: HeartbeatContent) => void;
+  readonly close: () => void;
+}
+
+const toMessage = (identity: HeartbeatIdentity, content: HeartbeatContent): HeartbeatRequest =>
+  create(HeartbeatRequestSchema, {
+    ...identity,
+    format: MESSAGE_FORMAT,
+    sequence: content.sequence,
+    phase: content.phase,
+    configurationOffset: content.configurationOffset,
+    load: {
+      limit: content.limit,
+      running: content.load.running,
+      waiting: content.load.waiting,
+      memoryUsedTokens: content.load.memoryUsedTokens,
+      memoryTotalTokens: content.load.memoryTotalTokens,
+      tokensPerSecond: content.load.tokensPerSecond,
+      preemptions: content.load.preemptions,
+      ageMs: content.load.ageMs,
+      prefixes: [...content.prefixes],
+      prefixAgeMs: content.prefixAgeMs,
+      prefixGaps: content.prefixGaps,
+    },
+    evidence: content.evidence.map((counters) => ({ ...counters })),
+  });
+
+const decodeAnswer = (message: HeartbeatResponse): HeartbeatAnswer => ({
+  watermark: message.watermark,
+  records: message.records.map(({ offset, at, body }) => ({
+    offset,
+    at,
+    body: JSON.parse(body) as unknown,
+  })),
+  snapshot: message.snapshot === '' ? null : (JSON.parse(message.snapshot) as unknown),
+  leaseMs: message.leaseMs,
+});
+
+interface Connection {
+  readonly client: Client<typeof EntryService>;
+  readonly manager: Http2SessionManager;
+}
+
+/**
+ * Creates the adapter that sends heartbeats to entry daemons.
+ *
+ * @param getIdentity - identity of this process, known once it listens
+ * @param clock - time of sending, from which a lease counts
+ * @param timeoutMs - time after which a heartbeat counts as lost
+ * @param post - receives the answers
+ * @returns the adapter
+ */
+export const createEntryClient = (
+  getIdentity: () => HeartbeatIdentity,
+  clock: Clock,
+  timeoutMs: number,
+  post: (event: EndpointEvent) => void,
+): EntryClient => {
+  const connections = new Map<string, Connection>();
+
+  const connect = (url: string): Connection => {
+    const known = connections.get(url);
+    if (known !== undefined) return known;
+    const manager = new Http2SessionManager(url);
+    const transport = createConnectTransport({
+      baseUrl: url,
+      httpVersion: '2',
+      sessionManager: manager,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const connection = { client: createClient(EntryService, transport), manager };
+    connections.set(url, connection);
+    return connection;
+  };
+
+  const send = async (url: string, content: HeartbeatContent): Promise<void> => {
+    const sentAt = clock.now();
+    try {
+      const message = toMessage(getIdentity(), content);
+      const response = await connect(url).client.heartbeat(message, { timeoutMs });
+      post({
+        to: 'heartbeats',
+        kind: 'acknowledged',
+        url,
+        sentAt,
+        answer: decodeAnswer(response),
+      });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      post({ to: 'heartbeats', kind: 'beat-failed', url, reason });
+    }
+  };
+
+  return {
+    sendHeartbeat: (url, content) => void send(url, content),
+    close: () => {
+      for (const { manager } of connections.values()) manager.abort();
+      connections.clear();
+    },
+  };
+};
--- /dev/null
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -0,0 +1,239 @@
+import { createServer } from 'node:http2';
+import type { Http2Session } from 'node:http2';
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { createAsyncQueue } from '../../core/asyncQueue.js';
+import type { AsyncQueue } from '../../core/asyncQueue.js';
+import { createId } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { MAX_MESSAGE_BYTES } from '../../wire/constants.js';
+import { toCallFailure } from '../../wire/failureCodec.js';
+import {
+  CallAnswerSchema,
+  CallResponseSchema,
+  CancelResponseSchema,
+  EndpointService,
+  FenceResponseSchema,
+  GenerateChunksSchema,
+  GenerateEventSchema,
+  GenerateFinishedSchema,
+  GenerateStartedSchema,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type {
+  CallAnswer,
+  CallResponse,
+  FenceResponse,
+  GenerateEvent,
+  GenerateRequest,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type {
+  CallId,
+  EndpointEvent,
+  FenceResult,
+  GenerateCall,
+  Importance,
+  ServiceAnswer,
+} from '../types.js';
+
+const IMPORTANCES: readonly Importance[] = ['critical', 'standard', 'background'];
+
+const readImportance = (text: string): Importance =>
+  IMPORTANCES.find((known) => known === text) ?? 'standard';
+
+const toGenerateCall = (callId: CallId, message: GenerateRequest): GenerateCall => ({
+  callId,
+  format: message.format,
+  mode: message.mode === 'resume' ? 'resume' : 'start',
+  generationId: message.generationId,
+  requestId: message.requestId,
+  customer: message.customer,
+  className: message.className,
+  route: message.route,
+  incarnation: message.incarnation,
+  resumeFrom: message.resumeFrom,
+  importance: readImportance(message.importance),
+  deadlineMs: message.deadlineMs,
+  promptTokens: message.promptTokens,
+  entry: message.entry,
+  body: message.body,
+});
+
+const toAnswerMessage = (answer: ServiceAnswer): CallAnswer =>
+  create(CallAnswerSchema, {
+    status: answer.status,
+    headers: answer.headers.map(({ name, value }) => ({ name, value })),
+    body: answer.body,
+  });
+
+/** Adapter between the loop and the entry daemons' calls. */
+export interface RpcServer {
+  readonly sendStarted: (callId: CallId) => void;
+  readonly sendChunks: (callId: CallId, firstNumber: number, choices: readonly string[]) => void;
+  readonly sendFinished: (callId: CallId, chunkCount: number, usage: string) => void;
+  readonly sendFailure: (callId: CallId, failure: Failure) => void;
+  readonly replyAnswer: (callId: CallId, answer: ServiceAnswer) => void;
+  readonly replyFailure: (callId: CallId, failure: Failure) => void;
+  readonly replyFence: (callId: CallId, result: FenceResult, answer: ServiceAnswer | null) => void;
+  readonly listen: (host: string, port: number) => Promise<string>;
+  readonly close: () => Promise<void>;
+}
+
+const SHED_FAILURE = createFailure('not-run', 'overloaded', 'the event queue is full');
+
+/**
+ * Creates the server of `EndpointService`.
+ *
+ * @param incarnation - start identity of this process
+ * @param post - queues an event; `shed` when the queue is full
+ * @returns the server, not yet listening
+ */
+export const createRpcServer = (
+  incarnation: string,
+  post: (event: EndpointEvent) => 'queued' | 'shed',
+): RpcServer => {
+  const readers = new Map<CallId, AsyncQueue<GenerateEvent>>();
+  const calls = new Map<CallId, (answer: CallResponse) => void>();
+  const fences = new Map<CallId, (answer: FenceResponse) => void>();
+  const sessions = new Set<Http2Session>();
+
+  async function* streamGeneration(message: GenerateRequest): AsyncGenerator<GenerateEvent> {
+    const callId = createId();
+    const queue = createAsyncQueue<GenerateEvent>();
+    readers.set(callId, queue);
+    const call = toGenerateCall(callId, message);
+    if (post({ to: 'rpc', kind: 'generate-requested', call }) === 'shed') {
+      sendFailure(callId, SHED_FAILURE);
+    }
+    try {
+      yield* queue;
+    } finally {
+      if (readers.delete(callId)) post({ to: 'streams', kind: 'reader-gone', callId });
+    }
+  }
+
+  const push = (callId: CallId, event: GenerateEvent['event'], last: 'more' | 'last'): void => {
+    const queue = readers.get(callId);
+    if (queue === undefined) return;
+    queue.push(create(GenerateEventSchema, { event }));
+    if (last === 'more') return;
+    readers.delete(callId);
+    queue.end();
+  };
+
+  const sendFailure = (callId: CallId, failure: Failure): void => {
+    push(callId, { case: 'failed', value: toCallFailure(failure) }, 'last');
+  };
+
+  const replyCall = (callId: CallId, result: CallResponse['result']): void => {
+    const resolve = calls.get(callId);
+    calls.delete(callId);
+    resolve?.(create(CallResponseSchema, { result }));
+  };
+
+  const replyFailure = (callId: CallId, failure: Failure): void => {
+    replyCall(callId, { case: 'failure', value: toCallFailure(failure) });
+  };
+
+  const registerRoutes = (router: ConnectRouter): void => {
+    router.service(EndpointService, {
+      generate: streamGeneration,
+      call: (message) =>
+        new Promise<CallResponse>((resolve) => {
+          const callId = createId();
+          calls.set(callId, resolve);
+          const call = {
+            callId,
+            format: message.format,
+            requestId: message.requestId,
+            customer: message.customer,
+            className: message.className,
+            importance: readImportance(message.importance),
+            incarnation: message.incarnation,
+            nonce: message.nonce === '' ? null : message.nonce,
+            method: message.method,
+            path: message.path,
+            headers: message.headers.map(({ name, value }) => ({ name, value })),
+            body: message.body,
+            deadlineMs: message.deadlineMs,
+            entry: message.entry,
+          };
+          if (post({ to: 'rpc', kind: 'call-requested', call }) === 'shed') {
+            replyFailure(callId, SHED_FAILURE);
+          }
+        }),
+      cancel: (message) => {
+        const { generationId } = message;
+        post({ to: 'streams', kind: 'cancel', generationId, incarnation: message.incarnation });
+        return create(CancelResponseSchema);
+      },
+      fence: (message) =>
+        new Promise<FenceResponse>((resolve) => {
+          const callId = createId();
+          fences.set(callId, resolve);
+          const { format, nonce } = message;
+          const call = { callId, format, nonce, incarnation: message.incarnation };
+          post({ to: 'calls', kind: 'fence', call });
+        }),
+    });
+  };
+
+  const server = createServer(
+    { settings: { maxConcurrentStreams: 100_000 } },
+    connectNodeAdapter({
+      routes: registerRoutes,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+      writeMaxBytes: MAX_MESSAGE_BYTES,
+    }),
+  );
+  server.on('session', (session) => {
+    sessions.add(session);
+    session.on('close', () => sessions.delete(session));
+  });
+
+  return {
+    sendStarted: (callId) => {
+      push(
+        callId,
+        { case: 'started', value: create(GenerateStartedSchema, { incarnation }) },
+        'more',
+      );
+    },
+    sendChunks: (callId, firstNumber, choices) => {
+      const value = create(GenerateChunksSchema, { firstNumber, choices: [...choices] });
+      push(callId, { case: 'chunks', value }, 'more');
+    },
+    sendFinished: (callId, chunkCount, usage) => {
+      const value = create(GenerateFinishedSchema, { chunkCount, usage });
+      push(callId, { case: 'finished', value }, 'last');
+    },
+    sendFailure,
+    replyAnswer: (callId, answer) => {
+      replyCall(callId, { case: 'answer', value: toAnswerMessage(answer) });
+    },
+    replyFailure,
+    replyFence: (callId, result, answer) => {
+      const resolve = fences.get(callId);
+      fences.delete(callId);
+      const stored = answer === null ? {} : { answer: toAnswerMessage(answer) };
+      resolve?.(create(FenceResponseSchema, { result, ...stored }));
+    },
+    listen: (host, port) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(port, host, () => {
+          const address = server.address();
+          const bound = typeof address === 'object' && address !== null ? address.port : port;
+          resolve(`http://${host}:${bound.toString()}`);
+        });
+      }),
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        for (const session of sessions) session.close();
+      }),
+  };
+};
--- /dev/null
+++ b/packages/endpoint/types.ts
@@ -0,0 +1,291 @@
+import type { Millis } from '../core/clock.js';
+import type { EventDetails } from '../core/events/types.js';
+import type { EventName } from '../core/events/catalogue.js';
+import type {
+  ClassName,
+  CustomerId,
+  GenerationId,
+  Incarnation,
+  Offset,
+  RequestId,
+} from '../core/ids.js';
+import type { Failure } from '../core/verdict.js';
+
+/** Identifies one open call of an entry daemon within this process. */
+export type CallId = string;
+
+export type Importance = 'critical' | 'standard' | 'background';
+
+/** A request of an entry daemon to start or resume a generation. */
+export interface GenerateCall {
+  readonly callId: CallId;
+  readonly format: number;
+  readonly mode: 'start' | 'resume';
+  readonly generationId: GenerationId;
+  readonly requestId: RequestId;
+  readonly customer: CustomerId;
+  readonly className: ClassName;
+  readonly route: string;
+  readonly incarnation: Incarnation;
+  readonly resumeFrom: number;
+  readonly importance: Importance;
+  readonly deadlineMs: Millis;
+  readonly promptTokens: number;
+  readonly entry: string;
+  readonly body: Uint8Array;
+}
+
+export interface HeaderField {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** A request of an entry daemon to run one call of the plain service. */
+export interface ServiceCall {
+  readonly callId: CallId;
+  readonly format: number;
+  readonly requestId: RequestId;
+  readonly customer: CustomerId;
+  readonly className: ClassName;
+  readonly importance: Importance;
+  readonly incarnation: Incarnation;
+  /** Set for a call that must run at most once. */
+  readonly nonce: string | null;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  readonly deadlineMs: Millis;
+  readonly entry: string;
+}
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+}
+
+export interface FenceCall {
+  readonly callId: CallId;
+  readonly format: number;
+  readonly nonce: string;
+  readonly incarnation: Incarnation;
+}
+
+export type FenceResult = 'fenced' | 'started' | 'finished' | 'unknown-incarnation';
+
+/** What the engine or service tells about itself. */
+export interface EngineHealth {
+  readonly status: 'warming' | 'ready' | 'failing';
+  readonly startId: string;
+}
+
+export interface EngineLoad {
+  readonly startId: string;
+  readonly running: number;
+  readonly waiting: number;
+  readonly memoryUsedTokens: number;
+  readonly memoryTotalTokens: number;
+  readonly tokensPerSecond: number;
+  readonly preemptions: number;
+  readonly ageMs: Millis;
+}
+
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: 'stored' | 'evicted';
+  readonly prefix: string;
+  readonly at: Millis;
+}
+
+export interface ListedEntry {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly rpcUrl: string;
+}
+
+export interface ControlRecord {
+  readonly offset: Offset;
+  readonly at: Millis;
+  readonly body: unknown;
+}
+
+export interface HeartbeatAnswer {
+  readonly watermark: Offset;
+  readonly records: readonly ControlRecord[];
+  readonly snapshot: unknown;
+  readonly leaseMs: Millis;
+}
+
+/** Cumulative counters of one route and class since this process started. */
+export interface EvidenceCounters {
+  readonly route: string;
+  readonly className: ClassName;
+  readonly successes: number;
+  readonly failures: number;
+  readonly slow: number;
+  readonly firstTokenMsSum: Millis;
+  readonly tokenGapMsSum: Millis;
+  readonly tokenGaps: number;
+}
+
+/** How one piece of work ended, for the evidence of a version. */
+export interface WorkOutcome {
+  readonly route: string;
+  readonly className: ClassName;
+  readonly result: 'success' | 'failure';
+  readonly firstTokenMs: Millis | null;
+  readonly tokenGapMsSum: Millis;
+  readonly tokenGaps: number;
+}
+
+export type PlatformEvent =
+  | { readonly to: 'platform'; readonly kind: 'poll' }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'list-received';
+      readonly entries: readonly ListedEntry[];
+      readonly self: 'live' | 'leaving' | 'absent';
+    }
+  | { readonly to: 'platform'; readonly kind: 'list-failed'; readonly reason: string };
+
+export type EngineEvent =
+  | { readonly to: 'engine'; readonly kind: 'poll' }
+  | { readonly to: 'engine'; readonly kind: 'health-received'; readonly health: EngineHealth }
+  | { readonly to: 'engine'; readonly kind: 'health-failed'; readonly reason: string }
+  | { readonly to: 'engine'; readonly kind: 'load-received'; readonly load: EngineLoad }
+  | {
+      readonly to: 'engine';
+      readonly kind: 'cache-events-received';
+      readonly events: readonly CacheEvent[];
+      readonly next: number;
+    }
+  | { readonly to: 'engine'; readonly kind: 'work-ended'; readonly outcome: WorkOutcome };
+
+export type StreamsEvent =
+  | { readonly to: 'streams'; readonly kind: 'open'; readonly call: GenerateCall }
+  | {
+      readonly to: 'streams';
+      readonly kind: 'engine-chunks';
+      readonly generationId: GenerationId;
+      readonly choices: readonly string[];
+    }
+  | {
+      readonly to: 'streams';
+      readonly kind: 'engine-finished';
+      readonly generationId: GenerationId;
+      readonly usage: string;
+    }
+  | {
+      readonly to: 'streams';
+      readonly kind: 'engine-failed';
+      readonly generationId: GenerationId;
+      readonly failure: Failure;
+    }
+  | { readonly to: 'streams'; readonly kind: 'reader-gone'; readonly callId: CallId }
+  | {
+      readonly to: 'streams';
+      readonly kind: 'cancel';
+      readonly generationId: GenerationId;
+      readonly incarnation: Incarnation;
+    }
+  | { readonly to: 'streams'; readonly kind: 'sweep' };
+
+export type CallsEvent =
+  | { readonly to: 'calls'; readonly kind: 'open'; readonly call: ServiceCall }
+  | {
+      readonly to: 'calls';
+      readonly kind: 'service-answered';
+      readonly callId: CallId;
+      readonly answer: ServiceAnswer;
+    }
+  | {
+      readonly to: 'calls';
+      readonly kind: 'service-failed';
+      readonly callId: CallId;
+      readonly failure: Failure;
+    }
+  | { readonly to: 'calls'; readonly kind: 'fence'; readonly call: FenceCall }
+  | { readonly to: 'calls'; readonly kind: 'sweep' };
+
+export type HeartbeatsEvent =
+  | { readonly to: 'heartbeats'; readonly kind: 'beat' }
+  | {
+      readonly to: 'heartbeats';
+      readonly kind: 'acknowledged';
+      readonly url: string;
+      readonly sentAt: Millis;
+      readonly answer: HeartbeatAnswer;
+    }
+  | {
+      readonly to: 'heartbeats';
+      readonly kind: 'beat-failed';
+      readonly url: string;
+      readonly reason: string;
+    };
+
+export type RpcEvent =
+  | { readonly to: 'rpc'; readonly kind: 'generate-requested'; readonly call: GenerateCall }
+  | { readonly to: 'rpc'; readonly kind: 'call-requested'; readonly call: ServiceCall }
+  | { readonly to: 'rpc'; readonly kind: 'drain-started'; readonly reason: string }
+  | { readonly to: 'rpc'; readonly kind: 'drain-checked' };
+
+export type EndpointEvent =
+  PlatformEvent | EngineEvent | StreamsEvent | CallsEvent | HeartbeatsEvent | RpcEvent;
+
+/** A heartbeat to one entry daemon. */
+export interface HeartbeatContent {
+  readonly sequence: number;
+  readonly phase: string;
+  readonly limit: number;
+  readonly load: EngineLoad;
+  readonly prefixes: readonly string[];
+  readonly prefixAgeMs: Millis;
+  readonly prefixGaps: number;
+  readonly evidence: readonly EvidenceCounters[];
+  readonly configurationOffset: Offset;
+}
+
+export type EndpointEffect =
+  | { readonly kind: 'post'; readonly event: EndpointEvent }
+  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EndpointEvent }
+  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | { readonly kind: 'fetch-list' }
+  | { readonly kind: 'fetch-health' }
+  | { readonly kind: 'fetch-load' }
+  | { readonly kind: 'fetch-cache-events'; readonly from: number }
+  | {
+      readonly kind: 'start-generation';
+      readonly generationId: GenerationId;
+      readonly call: GenerateCall;
+    }
+  | { readonly kind: 'cancel-generation'; readonly generationId: GenerationId }
+  | { readonly kind: 'send-started'; readonly callId: CallId }
+  | {
+      readonly kind: 'send-chunks';
+      readonly callId: CallId;
+      readonly firstNumber: number;
+      readonly choices: readonly string[];
+    }
+  | {
+      readonly kind: 'send-finished';
+      readonly callId: CallId;
+      readonly chunkCount: number;
+      readonly usage: string;
+    }
+  | { readonly kind: 'send-failure'; readonly callId: CallId; readonly failure: Failure }
+  | { readonly kind: 'call-service'; readonly call: ServiceCall }
+  | { readonly kind: 'reply-answer'; readonly callId: CallId; readonly answer: ServiceAnswer }
+  | { readonly kind: 'reply-failure'; readonly callId: CallId; readonly failure: Failure }
+  | {
+      readonly kind: 'reply-fence';
+      readonly callId: CallId;
+      readonly result: FenceResult;
+      readonly answer: ServiceAnswer | null;
+    }
+  | {
+      readonly kind: 'send-heartbeat';
+      readonly url: string;
+      readonly content: HeartbeatContent;
+    }
+  | { readonly kind: 'end-process'; readonly left: number };
