Choose endpoints by predicted memory headroom

choosePlacement compares a few endpoints by the probability that engine memory overflows within the horizon. Round-robin and least-requests are its baselines. Length estimates come from a streaming survival table with shrinkage from key to class to prior. Own placements since the last load report are kept in a table with sums per endpoint, so that a decision does not walk over requests in flight.

--- /dev/null
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -0,0 +1,169 @@
+import test from 'ava';
+import { choosePlacement } from './choosePlacement.js';
+import { DEFAULT_PLACEMENT_POLICY } from './constants.js';
+import { createOwnTable } from './own.js';
+import type { EndpointView, OwnPlacement, PlacementPolicy, PlacementRequest } from './types.js';
+import { createRandomSource } from '../../core/random.js';
+import { createSurvivalTable } from '../survival/survivalTable.js';
+
+const survival = createSurvivalTable();
+const random = createRandomSource(7);
+
+const buildEndpoint = (name: string, changes: Partial<EndpointView> = {}): EndpointView => ({
+  endpoint: name,
+  incarnation: `${name}-1`,
+  dataCentre: 'north',
+  model: 'draft',
+  version: 'v1',
+  phase: 'serving',
+  limit: 32,
+  running: 8,
+  waiting: 0,
+  memoryUsedTokens: 10_000,
+  memoryTotalTokens: 100_000,
+  tokensPerSecond: 300,
+  loadAgeMs: 200,
+  prefixes: new Set(),
+  prefixAgeMs: 0,
+  prefixGaps: 0,
+  preemptions: 0,
+  ...changes,
+});
+
+const buildRequest = (changes: Partial<PlacementRequest> = {}): PlacementRequest => ({
+  requestId: 'r',
+  target: { kind: 'model', model: 'draft' },
+  customer: 'caroni',
+  targets: { className: 'memo', importance: 'standard', answerLength: 'long' },
+  promptTokens: 500,
+  dataCentre: 'north',
+  excluded: new Set(),
+  ...changes,
+});
+
+const buildPlacement = (requestId: string, endpoint: string): OwnPlacement => ({
+  requestId,
+  endpoint,
+  className: 'memo',
+  customer: 'caroni',
+  version: 'v1',
+  promptTokens: 500,
+  generated: 0,
+  report: 'not-included',
+  placedAt: 1_000,
+});
+
+const choose = (
+  endpoints: readonly EndpointView[],
+  request = buildRequest(),
+  policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
+  own = createOwnTable(survival),
+) => choosePlacement(policy, request, endpoints, own, survival, random);
+
+const policies: readonly PlacementPolicy[] = [
+  { kind: 'round-robin' },
+  { kind: 'least-requests' },
+  DEFAULT_PLACEMENT_POLICY,
+];
+
+for (const policy of policies) {
+  // Guards against new work on endpoints that drain, are suspect, excluded or serve something else.
+  test(`${policy.kind} never chooses an endpoint that may not take the request`, (t) => {
+    const closed = [
+      buildEndpoint('draining', { phase: 'draining' }),
+      buildEndpoint('suspect', { phase: 'suspect' }),
+      buildEndpoint('gone', { phase: 'gone' }),
+      buildEndpoint('other', { model: 'sort' }),
+      buildEndpoint('excluded'),
+    ];
+    const request = buildRequest({ excluded: new Set(['excluded']) });
+    const refused = choose(closed, request, policy);
+    t.is(refused.kind === 'refuse' ? refused.failure.code : refused.kind, 'no-endpoint');
+    const placed = choose([...closed, buildEndpoint('open')], request, policy);
+    t.is(placed.kind === 'place' ? placed.endpoint : placed.kind, 'open');
+  });
+
+  // Guards against a limit that is overrun between two load reports.
+  test(`${policy.kind} counts own placements since the report towards the limit`, (t) => {
+    const own = createOwnTable(survival);
+    const endpoints = [buildEndpoint('cold', { limit: 2, running: 1 })];
+    own.trackPlacement(buildPlacement('a', 'cold'));
+    t.deepEqual(choose(endpoints, buildRequest(), policy, own), {
+      kind: 'wait',
+      reason: 'at-limit',
+    });
+    own.settleReport('cold', 2_000);
+    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'place');
+  });
+}
+
+// Guards against a baseline that skips endpoints or prefers some.
+test('round-robin gives every endpoint its turn', (t) => {
+  const own = createOwnTable(survival);
+  const endpoints = ['a', 'b', 'c'].map((name) => buildEndpoint(name));
+  const chosen = [1, 2, 3, 4, 5, 6].map((number) => {
+    const decision = choose(endpoints, buildRequest(), { kind: 'round-robin' }, own);
+    const endpoint = decision.kind === 'place' ? decision.endpoint : '';
+    own.trackPlacement(buildPlacement(number.toString(), endpoint));
+    return endpoint;
+  });
+  t.deepEqual(chosen, ['a', 'b', 'c', 'a', 'b', 'c']);
+});
+
+// Guards against placing by request count when the count hides full memory.
+test('predicted-headroom avoids an engine whose memory will overflow', (t) => {
+  const full = buildEndpoint('full', { running: 4, memoryUsedTokens: 94_000 });
+  const free = buildEndpoint('free', { running: 20, memoryUsedTokens: 40_000 });
+  const least = choose([full, free], buildRequest(), { kind: 'least-requests' });
+  t.is(least.kind === 'place' ? least.endpoint : '', 'full');
+  const decision = choose([full, free]);
+  t.is(decision.kind === 'place' ? decision.endpoint : '', 'free');
+  t.deepEqual(choose([full]), { kind: 'wait', reason: 'memory-full' });
+});
+
+// Guards against a stale cache sketch that outweighs real headroom.
+test('a cached prefix attracts a request while the knowledge is fresh', (t) => {
+  const request = buildRequest({ prefix: 'p' });
+  const near = buildEndpoint('near', { memoryUsedTokens: 8_000 });
+  const choosePrefixed = (changes: Partial<EndpointView>) => {
+    const holder = buildEndpoint('holder', { prefixes: new Set(['p']), ...changes });
+    const decision = choose([holder, near], request);
+    return decision.kind === 'place' ? decision.endpoint : '';
+  };
+  t.is(choosePrefixed({}), 'holder');
+  t.is(choosePrefixed({ prefixAgeMs: 120_000 }), 'near');
+  t.is(choosePrefixed({ prefixGaps: 12 }), 'near');
+});
+
+// Guards against short lookups that queue behind long answers.
+test('the last slots are kept for critical classes, which go where the wait is shortest', (t) => {
+  const nearlyFull = buildEndpoint('a', { limit: 20, running: 19 });
+  t.is(choose([nearlyFull]).kind, 'wait');
+  const lookup = buildRequest({
+    targets: { className: 'lookup', importance: 'critical', answerLength: 'short' },
+  });
+  t.is(choose([nearlyFull], lookup).kind, 'place');
+  const idle = buildEndpoint('b', { limit: 20, running: 2, memoryUsedTokens: 60_000 });
+  const decision = choose([nearlyFull, idle], lookup);
+  t.is(decision.kind === 'place' ? decision.endpoint : '', 'b');
+});
+
+// Guards against sums per endpoint that drift from the placements they stand for.
+test('own sums return to zero when all placements ended and were reported', (t) => {
+  const own = createOwnTable(survival);
+  for (let number = 0; number < 50; number += 1) {
+    own.trackPlacement(buildPlacement(number.toString(), 'a'));
+    own.updateProgress(number.toString(), number * 20);
+  }
+  own.settleReport('a', 2_000);
+  for (let number = 0; number < 50; number += 1) own.releasePlacement(number.toString(), 3_000);
+  t.is(own.getLoad('a')?.endedCount, 50);
+  own.settleReport('a', 4_000);
+  const load = own.getLoad('a');
+  t.deepEqual(
+    [load?.includedCount, load?.includedTokens, load?.newCount, load?.newTokens],
+    [0, 0, 0, 0],
+  );
+  t.deepEqual([load?.endedCount, load?.endedTokens], [0, 0]);
+  t.true(load?.change.mean.every((value) => value === 0));
+});
--- /dev/null
+++ b/packages/decisions/placement/eligible.ts
@@ -0,0 +1,111 @@
+import { CRITICAL_RESERVE_SHARE, RESERVE_FROM_LIMIT } from './constants.js';
+import type {
+  ClassTargets,
+  EndpointPhase,
+  EndpointView,
+  OwnView,
+  PlacementRequest,
+  PlacementTarget,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+
+const isOpenPhase = (phase: EndpointPhase): boolean => {
+  switch (phase) {
+    case 'starting':
+    case 'ramping':
+    case 'serving':
+      return true;
+    case 'draining':
+    case 'suspect':
+    case 'gone':
+      return false;
+    default:
+      return assertNever(phase);
+  }
+};
+
+const isServing = (endpoint: EndpointView, target: PlacementTarget): boolean => {
+  switch (target.kind) {
+    case 'model':
+      return (
+        endpoint.model === target.model &&
+        (target.version === undefined || endpoint.version === target.version)
+      );
+    case 'service':
+      return endpoint.service === target.service;
+    default:
+      return assertNever(target);
+  }
+};
+
+/**
+ * Counts the requests at an endpoint now: the last report, corrected by this daemon's placements
+ * and completions since.
+ *
+ * @param endpoint - last report
+ * @param own - this daemon's placements
+ * @returns number of requests, at least 0
+ */
+export const countRequests = (endpoint: EndpointView, own: OwnView): number => {
+  const load = own.getLoad(endpoint.endpoint);
+  const reported = endpoint.running + endpoint.waiting;
+  if (load === undefined) return reported;
+  return Math.max(0, reported - load.endedCount) + load.newCount;
+};
+
+/**
+ * Computes the sequences that a class may have running at a limit; the rest is kept for critical
+ * classes.
+ *
+ * @param limit - sequences allowed for all classes together
+ * @param targets - class of the request
+ * @returns the class's limit, at least 1 when `limit` is
+ */
+export const computeClassLimit = (limit: number, targets: ClassTargets): number => {
+  switch (targets.importance) {
+    case 'critical':
+      return limit;
+    case 'standard':
+    case 'background':
+      if (limit < RESERVE_FROM_LIMIT) return limit;
+      return limit - Math.max(1, Math.floor(limit * CRITICAL_RESERVE_SHARE));
+    default:
+      return assertNever(targets.importance);
+  }
+};
+
+/**
+ * Lists the endpoints that serve a request's target and take work, whatever their load.
+ *
+ * @param request - what is to be placed
+ * @param endpoints - all known endpoints
+ * @returns the endpoints, in the given order
+ */
+export const listServing = (
+  request: PlacementRequest,
+  endpoints: readonly EndpointView[],
+): readonly EndpointView[] =>
+  endpoints.filter(
+    (endpoint) =>
+      isOpenPhase(endpoint.phase) &&
+      isServing(endpoint, request.target) &&
+      !request.excluded.has(endpoint.endpoint) &&
+      (request.pinned === undefined || request.pinned === endpoint.endpoint),
+  );
+
+/**
+ * Lists the endpoints whose limit leaves a slot for a request.
+ *
+ * @param request - what is to be placed
+ * @param serving - endpoints that serve its target
+ * @param own - this daemon's placements
+ * @returns the endpoints with a free slot
+ */
+export const listWithSlot = (
+  request: PlacementRequest,
+  serving: readonly EndpointView[],
+  own: OwnView,
+): readonly EndpointView[] =>
+  serving.filter(
+    (endpoint) => countRequests(endpoint, own) < computeClassLimit(endpoint.limit, request.targets),
+  );
--- /dev/null
+++ b/packages/decisions/placement/headroom.ts
@@ -0,0 +1,152 @@
+import { countRequests } from './eligible.js';
+import {
+  CRITICAL_RESERVE_SHARE,
+  DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
+  MAX_EXTRAPOLATION_MS,
+  PREFIX_FRESHNESS_MS,
+  PREFIX_GAP_FACTOR,
+  SAME_DATA_CENTRE_BONUS,
+} from './constants.js';
+import type {
+  ClassTargets,
+  EndpointView,
+  OwnView,
+  PlacementCandidate,
+  PlacementPolicy,
+  PlacementRequest,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import {
+  applyNewSequence,
+  applyUnknownSequences,
+  createMemoryChange,
+  estimateMemory,
+  mergeMemoryChange,
+} from '../survival/forecast.js';
+import type { MemoryBudget, MemoryChange, MemoryPrediction } from '../survival/forecast.js';
+import type { SurvivalView } from '../survival/types.js';
+
+export type HeadroomPolicy = Extract<PlacementPolicy, { readonly kind: 'predicted-headroom' }>;
+
+/** An endpoint compared for a request, and whether its predicted memory admits the request. */
+export interface TestedEndpoint {
+  readonly view: EndpointView;
+  readonly candidate: PlacementCandidate;
+  readonly room: 'fits' | 'too-full';
+  /** Worth of the cached prefix, as a share of memory. */
+  readonly prefixWorth: number;
+}
+
+/** Inputs that are the same for all endpoints compared in one decision. */
+export interface HeadroomInputs {
+  readonly policy: HeadroomPolicy;
+  readonly request: PlacementRequest;
+  readonly own: OwnView;
+  readonly survival: SurvivalView;
+}
+
+const computeHorizonTokens = (endpoint: EndpointView, horizonMs: Millis): number => {
+  const perSequence =
+    endpoint.running > 0 && endpoint.tokensPerSecond > 0
+      ? endpoint.tokensPerSecond / endpoint.running
+      : DEFAULT_SEQUENCE_TOKENS_PER_SECOND;
+  return (perSequence * horizonMs) / 1_000;
+};
+
+const computeMemoryTotal = (total: number, targets: ClassTargets): number => {
+  switch (targets.importance) {
+    case 'critical':
+      return total;
+    case 'standard':
+    case 'background':
+      return total * (1 - CRITICAL_RESERVE_SHARE);
+    default:
+      return assertNever(targets.importance);
+  }
+};
+
+const estimateEndpointMemory = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+): MemoryPrediction => {
+  const { request, survival } = inputs;
+  const load = inputs.own.getLoad(endpoint.endpoint);
+  const growth =
+    (endpoint.tokensPerSecond * Math.min(endpoint.loadAgeMs, MAX_EXTRAPOLATION_MS)) / 1_000;
+  const kept = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
+  const change: MemoryChange = createMemoryChange();
+  if (load !== undefined) mergeMemoryChange(change, load.change);
+  const unknown = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
+  if (unknown > 0) {
+    const tokens = Math.max(0, kept - (load?.includedTokens ?? 0));
+    applyUnknownSequences(change, survival, unknown, tokens / unknown);
+  }
+  const key = {
+    className: request.targets.className,
+    customer: request.customer,
+    version: endpoint.version ?? '',
+  };
+  applyNewSequence(change, survival.getCurve(key), request.promptTokens);
+  const budget: MemoryBudget = {
+    used: kept + growth + (load?.newTokens ?? 0),
+    total: computeMemoryTotal(endpoint.memoryTotalTokens, request.targets),
+    horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
+  };
+  return estimateMemory(budget, change);
+};
+
+const computePrefixWorth = (inputs: HeadroomInputs, endpoint: EndpointView): number => {
+  const { prefix } = inputs.request;
+  if (prefix === undefined || !endpoint.prefixes.has(prefix)) return 0;
+  const freshness = Math.exp(-endpoint.prefixAgeMs / PREFIX_FRESHNESS_MS);
+  return inputs.policy.prefixWeight * freshness * PREFIX_GAP_FACTOR ** endpoint.prefixGaps;
+};
+
+const computeScore = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+  requests: number,
+  memory: MemoryPrediction,
+): number => {
+  const near = endpoint.dataCentre === inputs.request.dataCentre ? SAME_DATA_CENTRE_BONUS : 0;
+  const freeSlots = 1 - (requests + 1) / endpoint.limit;
+  switch (inputs.request.targets.answerLength) {
+    case 'short':
+      // A short answer ends before memory matters; it waits for the requests ahead of it.
+      return near + freeSlots;
+    case 'long':
+      return near + memory.headroom;
+    default:
+      return assertNever(inputs.request.targets.answerLength);
+  }
+};
+
+/**
+ * Tests one endpoint for a request: predicted memory and score.
+ *
+ * @param inputs - request, policy and estimates
+ * @param endpoint - endpoint with a free slot
+ * @returns the candidate with its score
+ */
+export const checkEndpoint = (inputs: HeadroomInputs, endpoint: EndpointView): TestedEndpoint => {
+  const requests = countRequests(endpoint, inputs.own);
+  const memory: MemoryPrediction =
+    endpoint.memoryTotalTokens > 0
+      ? estimateEndpointMemory(inputs, endpoint)
+      : { overflowProbability: 0, headroom: 1 - (requests + 1) / endpoint.limit };
+  const accepted = inputs.request.targets.overflowProbability ?? inputs.policy.overflowProbability;
+  const prefixWorth = computePrefixWorth(inputs, endpoint);
+  return {
+    view: endpoint,
+    candidate: {
+      endpoint: endpoint.endpoint,
+      score: computeScore(inputs, endpoint, requests, memory) + prefixWorth,
+      requests,
+      overflowProbability: memory.overflowProbability,
+      headroom: memory.headroom,
+    },
+    room: memory.overflowProbability <= accepted ? 'fits' : 'too-full',
+    prefixWorth,
+  };
+};
--- /dev/null
+++ b/packages/decisions/placement/own.ts
@@ -0,0 +1,177 @@
+import { FORECAST_REFRESH_SHARE, FORECAST_REFRESH_TOKENS } from './constants.js';
+import type { OwnLoad, OwnPlacement, OwnView, ReportState } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import type { EndpointId, RequestId } from '../../core/ids.js';
+import { applySequence, createMemoryChange, mergeMemoryChange } from '../survival/forecast.js';
+import type { MemoryChange } from '../survival/forecast.js';
+import type { SurvivalView } from '../survival/types.js';
+
+type Writable<T> = { -readonly [K in keyof T]: T[K] };
+
+interface Tracked extends Writable<OwnPlacement> {
+  change: MemoryChange;
+  /** Tokens generated when `change` was computed. */
+  forecastAt: number;
+}
+
+interface Ended {
+  readonly endedAt: Millis;
+  readonly tokens: number;
+}
+
+interface EndpointEntry {
+  readonly load: Writable<OwnLoad>;
+  readonly placements: Map<RequestId, Tracked>;
+  ended: readonly Ended[];
+}
+
+/**
+ * Placements of this daemon that are in flight, with sums per endpoint. The table is updated in
+ * place, since one daemon holds thousands of placements and their tokens arrive all the time; it
+ * has one owner.
+ */
+export interface OwnTable extends OwnView {
+  readonly trackPlacement: (placement: OwnPlacement) => void;
+  /** Records progress of a placement; unknown requests are ignored. */
+  readonly updateProgress: (requestId: RequestId, generated: number) => void;
+  /** Ends a placement. */
+  readonly releasePlacement: (requestId: RequestId, now: Millis) => void;
+  /** Notes that a load report taken at `takenAt` (this daemon's clock) replaced the last one. */
+  readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
+  /** Forgets an endpoint that is gone, with its placements. */
+  readonly removeEndpoint: (endpoint: EndpointId) => void;
+  readonly listPlacements: (endpoint: EndpointId) => readonly OwnPlacement[];
+}
+
+const createEntry = (): EndpointEntry => ({
+  load: {
+    includedCount: 0,
+    includedTokens: 0,
+    newCount: 0,
+    newTokens: 0,
+    endedCount: 0,
+    endedTokens: 0,
+    change: createMemoryChange(),
+  },
+  placements: new Map(),
+  ended: [],
+});
+
+const updateSums = (
+  load: Writable<OwnLoad>,
+  report: ReportState,
+  count: number,
+  tokens: number,
+): void => {
+  if (report === 'included') {
+    load.includedCount += count;
+    load.includedTokens += tokens;
+    return;
+  }
+  load.newCount += count;
+  load.newTokens += tokens;
+};
+
+const getSize = (placement: OwnPlacement): number => placement.promptTokens + placement.generated;
+
+const isForecastOld = (tracked: Tracked): boolean =>
+  tracked.generated - tracked.forecastAt >=
+  Math.max(FORECAST_REFRESH_TOKENS, tracked.forecastAt * FORECAST_REFRESH_SHARE);
+
+const buildChange = (survival: SurvivalView, placement: OwnPlacement): MemoryChange => {
+  const change = createMemoryChange();
+  applySequence(change, survival.getCurve(placement), placement.generated, getSize(placement));
+  return change;
+};
+
+/**
+ * Creates the table of this daemon's placements.
+ *
+ * @param survival - length estimates for the forecasts
+ * @returns an empty table
+ */
+export const createOwnTable = (survival: SurvivalView): OwnTable => {
+  const entries = new Map<EndpointId, EndpointEntry>();
+  const endpointOf = new Map<RequestId, EndpointId>();
+  let turn = 0;
+
+  const getEntry = (endpoint: EndpointId): EndpointEntry => {
+    const known = entries.get(endpoint);
+    if (known !== undefined) return known;
+    const created = createEntry();
+    entries.set(endpoint, created);
+    return created;
+  };
+
+  const findTracked = (requestId: RequestId) => {
+    const endpoint = endpointOf.get(requestId);
+    const entry = endpoint === undefined ? undefined : entries.get(endpoint);
+    const tracked = entry?.placements.get(requestId);
+    return entry === undefined || tracked === undefined ? undefined : { entry, tracked };
+  };
+
+  const releasePlacement = (requestId: RequestId, now: Millis): void => {
+    const found = findTracked(requestId);
+    if (found === undefined) return;
+    const { entry, tracked } = found;
+    const tokens = getSize(tracked);
+    endpointOf.delete(requestId);
+    entry.placements.delete(requestId);
+    updateSums(entry.load, tracked.report, -1, -tokens);
+    mergeMemoryChange(entry.load.change, tracked.change, -1);
+    // Sums of differences collect rounding errors; an idle endpoint starts again from zero.
+    if (entry.placements.size === 0) entry.load.change = createMemoryChange();
+    if (tracked.report === 'not-included') return;
+    entry.ended = [...entry.ended, { endedAt: now, tokens }];
+    entry.load.endedCount += 1;
+    entry.load.endedTokens += tokens;
+  };
+
+  return {
+    getTurn: () => turn,
+    getLoad: (endpoint) => entries.get(endpoint)?.load,
+    trackPlacement: (placement) => {
+      turn += 1;
+      const entry = getEntry(placement.endpoint);
+      const change = buildChange(survival, placement);
+      const tracked = { ...placement, change, forecastAt: placement.generated };
+      entry.placements.set(placement.requestId, tracked);
+      endpointOf.set(placement.requestId, placement.endpoint);
+      updateSums(entry.load, placement.report, 1, getSize(placement));
+      mergeMemoryChange(entry.load.change, change);
+    },
+    updateProgress: (requestId, generated) => {
+      const found = findTracked(requestId);
+      if (found === undefined) return;
+      const { entry, tracked } = found;
+      updateSums(entry.load, tracked.report, 0, generated - tracked.generated);
+      tracked.generated = generated;
+      if (!isForecastOld(tracked)) return;
+      mergeMemoryChange(entry.load.change, tracked.change, -1);
+      tracked.change = buildChange(survival, tracked);
+      tracked.forecastAt = generated;
+      mergeMemoryChange(entry.load.change, tracked.change);
+    },
+    releasePlacement,
+    settleReport: (endpoint, takenAt) => {
+      const entry = entries.get(endpoint);
+      if (entry === undefined) return;
+      for (const tracked of entry.placements.values()) {
+        if (tracked.report === 'included' || tracked.placedAt > takenAt) continue;
+        updateSums(entry.load, 'not-included', -1, -getSize(tracked));
+        tracked.report = 'included';
+        updateSums(entry.load, 'included', 1, getSize(tracked));
+      }
+      entry.ended = entry.ended.filter((item) => item.endedAt > takenAt);
+      entry.load.endedCount = entry.ended.length;
+      entry.load.endedTokens = entry.ended.reduce((sum, item) => sum + item.tokens, 0);
+    },
+    removeEndpoint: (endpoint) => {
+      for (const requestId of entries.get(endpoint)?.placements.keys() ?? []) {
+        endpointOf.delete(requestId);
+      }
+      entries.delete(endpoint);
+    },
+    listPlacements: (endpoint) => [...(entries.get(endpoint)?.placements.values() ?? [])],
+  };
+};
--- /dev/null
+++ b/packages/decisions/survival/forecast.ts
@@ -0,0 +1,166 @@
+import { computeSurvival } from './hazard.js';
+import type { HazardCurve, SurvivalView } from './types.js';
+
+/**
+ * Tokens per sequence after which memory is predicted. Between two steps the batch changes little
+ * compared with the spread of the prediction.
+ */
+export const FORECAST_STEPS_TOKENS: readonly number[] = [16, 64, 256, 1_024, 4_096];
+
+/** Predicted change of memory at each forecast step: sums over sequences, in tokens. */
+export interface MemoryChange {
+  readonly mean: Float64Array;
+  readonly variance: Float64Array;
+}
+
+/** Memory of an engine against which a change is tested, in tokens. */
+export interface MemoryBudget {
+  readonly used: number;
+  readonly total: number;
+  /** Tokens that one sequence produces within the horizon. */
+  readonly horizonTokens: number;
+}
+
+/** Result of a memory prediction. */
+export interface MemoryPrediction {
+  /** Largest probability over the steps within the horizon that memory overflows. */
+  readonly overflowProbability: number;
+  /** Smallest expected free share of memory over the same steps; negative when it overflows. */
+  readonly headroom: number;
+}
+
+/** Creates a change of zero. */
+export const createMemoryChange = (): MemoryChange => ({
+  mean: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  variance: new Float64Array(FORECAST_STEPS_TOKENS.length),
+});
+
+const applyOutcome = (
+  change: MemoryChange,
+  step: number,
+  survival: number,
+  grown: number,
+  ended: number,
+  count: number,
+): void => {
+  const spread = grown - ended;
+  change.mean[step] = (change.mean[step] ?? 0) + count * (ended + survival * spread);
+  change.variance[step] =
+    (change.variance[step] ?? 0) + count * survival * (1 - survival) * spread * spread;
+};
+
+/**
+ * Adds a sequence that holds memory now: it grows while it runs and frees its memory at its end.
+ *
+ * @param change - sums, updated in place
+ * @param curve - length estimate of the sequence's key
+ * @param generated - tokens generated so far
+ * @param size - tokens of memory held now
+ */
+export const applySequence = (
+  change: MemoryChange,
+  curve: HazardCurve,
+  generated: number,
+  size: number,
+): void => {
+  FORECAST_STEPS_TOKENS.forEach((tokens, step) => {
+    applyOutcome(change, step, computeSurvival(curve, generated, tokens), tokens, -size, 1);
+  });
+};
+
+/**
+ * Adds a request that holds no memory yet; its prompt counts while it runs.
+ *
+ * @param change - sums, updated in place
+ * @param curve - length estimate of the sequence's key
+ * @param promptTokens - length of the prompt
+ */
+export const applyNewSequence = (
+  change: MemoryChange,
+  curve: HazardCurve,
+  promptTokens: number,
+): void => {
+  FORECAST_STEPS_TOKENS.forEach((tokens, step) => {
+    const alive = computeSurvival(curve, 0, tokens);
+    applyOutcome(change, step, alive, promptTokens + tokens, 0, 1);
+  });
+};
+
+/**
+ * Adds running sequences of which only the number and the memory are known.
+ *
+ * @param change - sums, updated in place
+ * @param survival - length estimates
+ * @param count - number of the sequences
+ * @param size - mean tokens of memory that one of them holds
+ */
+export const applyUnknownSequences = (
+  change: MemoryChange,
+  survival: SurvivalView,
+  count: number,
+  size: number,
+): void => {
+  if (count <= 0) return;
+  FORECAST_STEPS_TOKENS.forEach((tokens, step) => {
+    applyOutcome(change, step, survival.estimateUnknownSurvival(tokens), tokens, -size, count);
+  });
+};
+
+/**
+ * Adds one change to another.
+ *
+ * @param target - updated in place
+ * @param other - added
+ * @param sign - -1 to take `other` out again
+ */
+export const mergeMemoryChange = (
+  target: MemoryChange,
+  other: MemoryChange,
+  sign: 1 | -1 = 1,
+): void => {
+  for (let step = 0; step < FORECAST_STEPS_TOKENS.length; step += 1) {
+    target.mean[step] = (target.mean[step] ?? 0) + sign * (other.mean[step] ?? 0);
+    target.variance[step] = Math.max(
+      0,
+      (target.variance[step] ?? 0) + sign * (other.variance[step] ?? 0),
+    );
+  }
+};
+
+/**
+ * Computes the upper tail of the standard normal distribution.
+ *
+ * @param z - standard score
+ * @returns the probability of a larger score; absolute error below 1e-7 (Abramowitz and Stegun
+ *   26.2.17)
+ */
+export const computeNormalTail = (z: number): number => {
+  if (z < 0) return 1 - computeNormalTail(-z);
+  const k = 1 / (1 + 0.2316419 * z);
+  const series =
+    k *
+    (0.31938153 + k * (-0.356563782 + k * (1.781477937 + k * (-1.821255978 + k * 1.330274429))));
+  return (Math.exp((-z * z) / 2) / Math.sqrt(2 * Math.PI)) * series;
+};
+
+/**
+ * Predicts whether memory overflows within the horizon, by a normal approximation of the sum over
+ * the sequences at each forecast step.
+ *
+ * @param budget - memory now and horizon
+ * @param change - sums over the sequences, with the request under decision
+ * @returns overflow probability and expected headroom
+ */
+export const estimateMemory = (budget: MemoryBudget, change: MemoryChange): MemoryPrediction => {
+  let overflowProbability = budget.used > budget.total ? 1 : 0;
+  let headroom = (budget.total - budget.used) / budget.total;
+  for (let step = 0; step < FORECAST_STEPS_TOKENS.length; step += 1) {
+    const tokens = FORECAST_STEPS_TOKENS[step] ?? 0;
+    if (step > 0 && tokens > budget.horizonTokens) break;
+    const free = budget.total - budget.used - (change.mean[step] ?? 0);
+    const deviation = Math.sqrt(change.variance[step] ?? 0) + 1;
+    overflowProbability = Math.max(overflowProbability, computeNormalTail(free / deviation));
+    headroom = Math.min(headroom, free / budget.total);
+  }
+  return { overflowProbability, headroom };
+};
--- /dev/null
+++ b/packages/decisions/survival/hazard.ts
@@ -0,0 +1,188 @@
+import { BUCKET_COUNT, BUCKET_STARTS, BUCKET_WIDTHS, findBucket } from './buckets.js';
+import { MAX_TOKENS, PRIOR_SCALE_TOKENS, PRIOR_SHAPE } from './constants.js';
+import type { HazardCurve, RemainingEstimate } from './types.js';
+
+/** Counts from which a hazard is estimated; they decay, so they are no whole numbers. */
+export interface HazardCounts {
+  readonly ends: Float64Array;
+  /** Tokens generated within each bucket. */
+  readonly exposure: Float64Array;
+}
+
+/** Creates counts without observations. */
+export const createHazardCounts = (): HazardCounts => ({
+  ends: new Float64Array(BUCKET_COUNT),
+  exposure: new Float64Array(BUCKET_COUNT),
+});
+
+/**
+ * Builds a curve from its rates.
+ *
+ * @param rates - hazard per token in each bucket
+ * @returns the curve
+ */
+export const buildCurve = (rates: Float64Array): HazardCurve => {
+  const cumulative = new Float64Array(BUCKET_COUNT);
+  for (let bucket = 1; bucket < BUCKET_COUNT; bucket += 1) {
+    cumulative[bucket] =
+      (cumulative[bucket - 1] ?? 0) + (rates[bucket - 1] ?? 0) * (BUCKET_WIDTHS[bucket - 1] ?? 0);
+  }
+  return { rates, cumulative };
+};
+
+/** Curve before any observation. */
+export const PRIOR_CURVE: HazardCurve = buildCurve(
+  Float64Array.from(BUCKET_STARTS, (start, bucket) => {
+    const middle = start + (BUCKET_WIDTHS[bucket] ?? 0) / 2;
+    return PRIOR_SHAPE / (middle + PRIOR_SCALE_TOKENS);
+  }),
+);
+
+/**
+ * Estimates a curve from counts, shrunk towards a parent: the parent's rate stands for
+ * `strength` generations that passed through each bucket.
+ *
+ * @param counts - observations
+ * @param parent - curve to shrink to
+ * @param strength - weight of the parent, in generations
+ * @returns the estimated curve
+ */
+export const estimateCurve = (
+  counts: HazardCounts,
+  parent: HazardCurve,
+  strength: number,
+): HazardCurve => {
+  const rates = new Float64Array(BUCKET_COUNT);
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+    const pseudo = strength * (BUCKET_WIDTHS[bucket] ?? 0);
+    rates[bucket] =
+      ((counts.ends[bucket] ?? 0) + (parent.rates[bucket] ?? 0) * pseudo) /
+      ((counts.exposure[bucket] ?? 0) + pseudo);
+  }
+  return buildCurve(rates);
+};
+
+/**
+ * Adds one generation to counts after decaying the older ones.
+ *
+ * @param counts - updated in place
+ * @param tokens - length seen
+ * @param ended - 1 for a finished generation, 0 for a censored one
+ * @param decay - factor on the older observations
+ */
+export const applyObservation = (
+  counts: HazardCounts,
+  tokens: number,
+  ended: 0 | 1,
+  decay: number,
+): void => {
+  const length = Math.min(Math.max(tokens, 0), MAX_TOKENS);
+  const last = findBucket(length);
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+    const seen = Math.min(
+      Math.max(0, length - (BUCKET_STARTS[bucket] ?? 0)),
+      BUCKET_WIDTHS[bucket] ?? 0,
+    );
+    counts.ends[bucket] = (counts.ends[bucket] ?? 0) * decay + (bucket === last ? ended : 0);
+    counts.exposure[bucket] = (counts.exposure[bucket] ?? 0) * decay + seen;
+  }
+};
+
+const computeCumulative = (curve: HazardCurve, tokens: number): number => {
+  const bucket = findBucket(tokens);
+  const inside = tokens - (BUCKET_STARTS[bucket] ?? 0);
+  return (curve.cumulative[bucket] ?? 0) + (curve.rates[bucket] ?? 0) * inside;
+};
+
+/**
+ * Computes the probability that a generation goes on.
+ *
+ * @param curve - hazard
+ * @param generated - tokens so far
+ * @param tokens - further tokens
+ * @returns probability in [0, 1]; 0 beyond the tracked lengths
+ */
+export const computeSurvival = (curve: HazardCurve, generated: number, tokens: number): number => {
+  if (generated + tokens >= MAX_TOKENS) return 0;
+  const passed = computeCumulative(curve, generated);
+  return Math.exp(passed - computeCumulative(curve, generated + tokens));
+};
+
+/**
+ * Computes the probability that a generation that entered a bucket ends in it.
+ *
+ * @param curve - hazard
+ * @param bucket - index of the bucket
+ * @returns probability in [0, 1]
+ */
+export const computeBucketHazard = (curve: HazardCurve, bucket: number): number =>
+  1 - Math.exp(-(curve.rates[bucket] ?? 0) * (BUCKET_WIDTHS[bucket] ?? 0));
+
+/** First and second moment of the part of a lifetime that lies in one bucket. */
+const computeMoments = (rate: number, width: number, offset: number) => {
+  if (rate * width < 1e-6) {
+    return { first: width, second: width * (2 * offset + width), alive: 1 - rate * width };
+  }
+  const alive = Math.exp(-rate * width);
+  const first = (1 - alive) / rate;
+  const inner = first / rate - (alive * width) / rate;
+  return { first, second: 2 * (offset * first + inner), alive };
+};
+
+const computeRemaining = (curve: HazardCurve, generated: number) => {
+  const from = Math.min(Math.max(generated, 0), MAX_TOKENS - 1);
+  let alive = 1;
+  let mean = 0;
+  let square = 0;
+  let offset = 0;
+  for (let bucket = findBucket(from); bucket < BUCKET_COUNT; bucket += 1) {
+    const end = (BUCKET_STARTS[bucket] ?? 0) + (BUCKET_WIDTHS[bucket] ?? 0);
+    const width = end - from - offset;
+    const part = computeMoments(curve.rates[bucket] ?? 0, width, offset);
+    mean += alive * part.first;
+    square += alive * part.second;
+    alive *= part.alive;
+    offset += width;
+    if (alive < 1e-9) break;
+  }
+  return { mean, variance: Math.max(0, square - mean * mean) };
+};
+
+const computeQuantile = (curve: HazardCurve, generated: number, p: number): number => {
+  const from = Math.min(Math.max(generated, 0), MAX_TOKENS - 1);
+  const target = computeCumulative(curve, from) - Math.log(1 - Math.min(Math.max(p, 0), 1));
+  for (let bucket = findBucket(from); bucket < BUCKET_COUNT; bucket += 1) {
+    const start = BUCKET_STARTS[bucket] ?? 0;
+    const rate = curve.rates[bucket] ?? 0;
+    const atEnd = (curve.cumulative[bucket] ?? 0) + rate * (BUCKET_WIDTHS[bucket] ?? 0);
+    if (atEnd < target) continue;
+    const inside = (target - (curve.cumulative[bucket] ?? 0)) / rate;
+    return Math.max(0, start + inside - from);
+  }
+  return MAX_TOKENS - from;
+};
+
+/**
+ * Estimates the tokens that a generation has still to produce.
+ *
+ * @param curve - hazard
+ * @param generated - tokens so far
+ * @returns mean and variance, both finite, and quantiles
+ */
+export const estimateRemainingOf = (curve: HazardCurve, generated: number): RemainingEstimate => ({
+  ...computeRemaining(curve, generated),
+  quantile: (p) => computeQuantile(curve, generated, p),
+});
+
+/**
+ * Computes the probability that a generation seen at a random moment of its life goes on.
+ *
+ * @param curve - hazard
+ * @param tokens - further tokens
+ * @returns probability in [0, 1]: the share of all tokens that come after the first `tokens` ones
+ */
+export const computeUnknownSurvival = (curve: HazardCurve, tokens: number): number => {
+  const total = computeRemaining(curve, 0).mean;
+  const after = computeSurvival(curve, 0, tokens);
+  return after === 0 ? 0 : (after * computeRemaining(curve, tokens).mean) / total;
+};
--- /dev/null
+++ b/packages/decisions/survival/survivalTable.ts
@@ -0,0 +1,127 @@
+import {
+  CLASS_MEMORY_OBSERVATIONS,
+  KEY_MEMORY_OBSERVATIONS,
+  MAX_TRACKED_CLASSES,
+  MAX_TRACKED_KEYS,
+  SHRINKAGE_TO_CLASS,
+  SHRINKAGE_TO_PRIOR,
+} from './constants.js';
+import {
+  applyObservation,
+  computeUnknownSurvival,
+  createHazardCounts,
+  estimateCurve,
+  estimateRemainingOf,
+  PRIOR_CURVE,
+} from './hazard.js';
+import type { HazardCounts } from './hazard.js';
+import type { HazardCurve, SurvivalKey, SurvivalView } from './types.js';
+
+/** Bounds of a table. */
+export interface SurvivalOptions {
+  readonly maxKeys?: number;
+  readonly maxClasses?: number;
+}
+
+/**
+ * Streaming estimates of output lengths. The table holds thousands of keys and learns from every
+ * generation, so it is updated in place; it has one owner.
+ */
+export interface SurvivalTable extends SurvivalView {
+  /** Records the length of a finished generation. */
+  readonly observeFinished: (key: SurvivalKey, tokens: number) => void;
+  /** Records that a generation was cancelled, or cut, after `tokens` tokens. */
+  readonly observeCensored: (key: SurvivalKey, tokens: number) => void;
+  readonly countKeys: () => number;
+}
+
+/** Counts with the curve computed from them and from a parent's curve. */
+interface Node {
+  readonly counts: HazardCounts;
+  curve: HazardCurve | undefined;
+  parent: HazardCurve;
+}
+
+const createNode = (): Node => ({
+  counts: createHazardCounts(),
+  curve: undefined,
+  parent: PRIOR_CURVE,
+});
+
+const getNodeCurve = (node: Node, parent: HazardCurve, strength: number): HazardCurve => {
+  if (node.curve !== undefined && node.parent === parent) return node.curve;
+  node.parent = parent;
+  node.curve = estimateCurve(node.counts, parent, strength);
+  return node.curve;
+};
+
+const updateNode = (node: Node, tokens: number, ended: 0 | 1, memory: number): void => {
+  applyObservation(node.counts, tokens, ended, 1 - 1 / memory);
+  node.curve = undefined;
+};
+
+/** Takes a node out of the map and puts it last, so that the first entry is the least recent. */
+const selectNode = (nodes: Map<string, Node>, name: string, bound: number): Node => {
+  const node = nodes.get(name) ?? createNode();
+  nodes.delete(name);
+  nodes.set(name, node);
+  if (nodes.size > bound) {
+    const [oldest] = nodes.keys();
+    if (oldest !== undefined) nodes.delete(oldest);
+  }
+  return node;
+};
+
+const formatKey = (key: SurvivalKey): string =>
+  JSON.stringify([key.className, key.customer, key.version]);
+
+/**
+ * Creates a table of length estimates. A key shrinks to its class, and a class to the prior.
+ *
+ * @param options - bounds on the tracked keys and classes
+ * @returns an empty table
+ */
+export const createSurvivalTable = (options: SurvivalOptions = {}): SurvivalTable => {
+  const maxKeys = options.maxKeys ?? MAX_TRACKED_KEYS;
+  const maxClasses = options.maxClasses ?? MAX_TRACKED_CLASSES;
+  const keys = new Map<string, Node>();
+  const classes = new Map<string, Node>();
+  const all = createNode();
+  const unknownSurvival = new Map<number, number>();
+
+  const getCurve = (key: SurvivalKey): HazardCurve => {
+    const classNode = classes.get(key.className);
+    if (classNode === undefined) return PRIOR_CURVE;
+    const classCurve = getNodeCurve(classNode, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
+    const node = keys.get(formatKey(key));
+    return node === undefined ? classCurve : getNodeCurve(node, classCurve, SHRINKAGE_TO_CLASS);
+  };
+
+  const observe = (key: SurvivalKey, tokens: number, ended: 0 | 1): void => {
+    const classNode = selectNode(classes, key.className, maxClasses);
+    updateNode(classNode, tokens, ended, CLASS_MEMORY_OBSERVATIONS);
+    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, ended, KEY_MEMORY_OBSERVATIONS);
+    updateNode(all, tokens, ended, CLASS_MEMORY_OBSERVATIONS);
+    unknownSurvival.clear();
+  };
+
+  return {
+    getCurve,
+    countKeys: () => keys.size,
+    observeFinished: (key, tokens) => {
+      observe(key, tokens, 1);
+    },
+    observeCensored: (key, tokens) => {
+      observe(key, tokens, 0);
+    },
+    estimateRemaining: (key, generated) => estimateRemainingOf(getCurve(key), generated),
+    estimateUnknownSurvival: (tokens) => {
+      const known = unknownSurvival.get(tokens);
+      if (known !== undefined) return known;
+      const curve = getNodeCurve(all, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
+      const survival = computeUnknownSurvival(curve, tokens);
+      unknownSurvival.set(tokens, survival);
+      return survival;
+    },
+  };
+};
