Add the platform stand-in: log, instance list and weight store

The daemons need an outside platform to run against. It is a supervisor tree with one loop; the log, the list and the weight store are its children.

--- /dev/null
+++ b/packages/standins/platform/log/recordTable.ts
@@ -0,0 +1,92 @@
+import type { Millis } from '../../../core/clock.js';
+import type { Offset } from '../../../core/ids.js';
+import type { StoredRecord } from '../types.js';
+
+/** Slice of a stream. */
+export interface StreamPage {
+  readonly records: readonly StoredRecord[];
+  readonly nextOffset: Offset;
+  readonly firstOffset: Offset;
+}
+
+export interface Retention {
+  readonly records: number;
+  readonly ageMs: Millis;
+}
+
+/**
+ * Streams of records. A stream can hold hundreds of thousands of records, so the table is updated
+ * in place and owned by the log child alone.
+ */
+export interface RecordTable {
+  /** Appends records and returns the offset of the first. */
+  readonly append: (stream: string, bodies: readonly unknown[], at: Millis) => Offset;
+  /** Drops records that the retention no longer covers. */
+  readonly expire: (stream: string, retention: Retention, now: Millis) => void;
+  readonly read: (stream: string, from: Offset, limit: number) => StreamPage;
+}
+
+interface Stream {
+  records: StoredRecord[];
+  /** Records at the front of the array that are gone. */
+  dropped: number;
+  nextOffset: Offset;
+}
+
+/** Dropped records are released from the array in batches, because each release copies the rest. */
+const RELEASE_BATCH_RECORDS = 1_024;
+
+const countExpired = (stream: Stream, retention: Retention, now: Millis): number => {
+  let dropped = Math.max(stream.dropped, stream.records.length - retention.records);
+  while (dropped < stream.records.length) {
+    const record = stream.records[dropped] as StoredRecord;
+    if (record.at >= now - retention.ageMs) break;
+    dropped += 1;
+  }
+  return dropped;
+};
+
+/**
+ * Creates an empty table of streams.
+ *
+ * @returns the table
+ */
+export const createRecordTable = (): RecordTable => {
+  const streams = new Map<string, Stream>();
+
+  const openStream = (name: string): Stream => {
+    const known = streams.get(name);
+    if (known !== undefined) return known;
+    const created: Stream = { records: [], dropped: 0, nextOffset: 0 };
+    streams.set(name, created);
+    return created;
+  };
+
+  return {
+    append: (name, bodies, at) => {
+      const stream = openStream(name);
+      const firstOffset = stream.nextOffset;
+      bodies.forEach((body, index) =>
+        stream.records.push({ offset: firstOffset + index, at, body }),
+      );
+      stream.nextOffset += bodies.length;
+      return firstOffset;
+    },
+    expire: (name, retention, now) => {
+      const stream = openStream(name);
+      stream.dropped = countExpired(stream, retention, now);
+      if (stream.dropped < RELEASE_BATCH_RECORDS) return;
+      stream.records = stream.records.slice(stream.dropped);
+      stream.dropped = 0;
+    },
+    read: (name, from, limit) => {
+      const stream = openStream(name);
+      const firstOffset = stream.nextOffset - (stream.records.length - stream.dropped);
+      const start = Math.max(from, firstOffset) - firstOffset + stream.dropped;
+      const records = stream.records.slice(start, start + limit);
+      const last = records.at(-1);
+      const nextOffset = last === undefined ? Math.max(from, firstOffset) : last.offset + 1;
+      return { records, nextOffset: Math.min(nextOffset, stream.nextOffset), firstOffset };
+    },
+  };
+};
--- /dev/null
+++ b/packages/standins/platform/startPlatformStandin.ts
@@ -0,0 +1,127 @@
+import type { FastifyInstance } from 'fastify';
+import { DEFAULT_PLATFORM_SETTINGS } from './constants.js';
+import { APPEND_SCHEMA, INSTANCE_SCHEMA, PLATFORM_FAULTS_SCHEMA, READ_SCHEMA } from './schemas.js';
+import { startPlatformSupervisor } from './supervisor.js';
+import type { PlatformEffect, PlatformEvent, PlatformOptions } from './types.js';
+import { createExchange } from '../common/exchange.js';
+import type { Exchange } from '../common/exchange.js';
+import { createListener } from '../common/listener.js';
+import type { Standin } from '../common/types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { createSystemClock } from '../../core/clock.js';
+import type { Loop } from '../../core/loop/types.js';
+import { createDaemon } from '../../core/supervision/daemon.js';
+
+type Post = (event: PlatformEvent) => void;
+
+const performEffect = (
+  effect: PlatformEffect,
+  exchange: Exchange,
+  loop: Loop<PlatformEvent>,
+): void => {
+  switch (effect.kind) {
+    case 'answer':
+      exchange.answer(effect.reply, effect.answer);
+      return;
+    case 'drop':
+      exchange.drop(effect.reply);
+      return;
+    case 'schedule':
+      loop.schedule(effect.delayMs, effect.event);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
+
+const registerLogRoutes = (app: FastifyInstance, exchange: Exchange, post: Post): void => {
+  app.post<{ Params: { stream: string } }>('/streams/:stream/records', async (request, reply) => {
+    const { records } = APPEND_SCHEMA.parse(request.body);
+    const { stream } = request.params;
+    return exchange.handle(request, reply, (id) => {
+      post({ to: 'log', kind: 'append', reply: id, stream, records });
+    });
+  });
+  app.get<{ Params: { stream: string } }>('/streams/:stream/records', async (request, reply) => {
+    const query = READ_SCHEMA.parse(request.query);
+    const { stream } = request.params;
+    return exchange.handle(request, reply, (id) => {
+      post({ to: 'log', kind: 'read', reply: id, stream, ...query });
+    });
+  });
+};
+
+const registerInstanceRoutes = (app: FastifyInstance, exchange: Exchange, post: Post): void => {
+  app.get('/instances', async (request, reply) =>
+    exchange.handle(request, reply, (id) => {
+      post({ to: 'instances', kind: 'list-instances', reply: id });
+    }),
+  );
+  app.put<{ Params: { id: string } }>('/instances/:id', async (request, reply) => {
+    const instance = { ...INSTANCE_SCHEMA.parse(request.body), id: request.params.id };
+    return exchange.handle(request, reply, (id) => {
+      post({ to: 'instances', kind: 'put-instance', reply: id, instance });
+    });
+  });
+  app.delete<{ Params: { id: string } }>('/instances/:id', async (request, reply) =>
+    exchange.handle(request, reply, (id) => {
+      post({ to: 'instances', kind: 'delete-instance', reply: id, id: request.params.id });
+    }),
+  );
+};
+
+const registerOtherRoutes = (app: FastifyInstance, exchange: Exchange, post: Post): void => {
+  app.get<{ Params: { model: string; version: string } }>(
+    '/weights/:model/:version',
+    async (request, reply) =>
+      exchange.handle(request, reply, (id) => {
+        post({ to: 'weights', kind: 'fetch-weights', reply: id, ...request.params });
+      }),
+  );
+  app.post('/faults', async (request) => {
+    const faults = PLATFORM_FAULTS_SCHEMA.parse(request.body);
+    post({ to: 'log', kind: 'set-faults', faults });
+    post({ to: 'instances', kind: 'set-faults', faults });
+    return faults;
+  });
+};
+
+/**
+ * Starts the stand-in of the platform: log, instance list and weight store.
+ *
+ * @param options - port, limits, retention and lag
+ * @returns the running stand-in
+ */
+export const startPlatformStandin = async (options: PlatformOptions = {}): Promise<Standin> => {
+  const { port = 0, ...given } = options;
+  const settings = { ...DEFAULT_PLATFORM_SETTINGS, ...given };
+  const clock = createSystemClock();
+  const exchange = createExchange();
+  const listener = createListener();
+  const raise = (error: unknown): never => {
+    throw error;
+  };
+  const daemon = createDaemon<PlatformEvent, PlatformEffect>({
+    classify: () => 'control',
+    startRoot: () => startPlatformSupervisor(settings, clock, ({ error }) => raise(error)),
+    perform: (effect) => {
+      performEffect(effect, exchange, daemon.loop);
+    },
+    onFault: raise,
+  });
+  const post: Post = (event) => {
+    daemon.loop.post(event);
+  };
+  registerLogRoutes(listener.app, exchange, post);
+  registerInstanceRoutes(listener.app, exchange, post);
+  registerOtherRoutes(listener.app, exchange, post);
+  daemon.start();
+  await listener.open(port);
+  return {
+    url: listener.getUrl(),
+    close: async () => {
+      daemon.stop();
+      await listener.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/standins/platform/weights/weightsChild.ts
@@ -0,0 +1,59 @@
+import { takeAllowance } from '../../common/rateLimit.js';
+import type { Allowance } from '../../common/rateLimit.js';
+import type { PlatformEffect, PlatformSettings, WeightsEvent } from '../types.js';
+import type { Clock, Millis } from '../../../core/clock.js';
+import type { Step } from '../../../core/step.js';
+import { toStep } from '../../../core/step.js';
+import type { ChildLogic } from '../../../core/supervision/types.js';
+
+/** Rate limit of the weight store. */
+export interface WeightsState {
+  readonly allowance: Allowance;
+}
+
+/**
+ * Decides one fetch from the weight store.
+ *
+ * @param state - rate limit before the fetch
+ * @param event - fetch
+ * @param settings - rate and burst
+ * @param now - current instant
+ * @returns the next state and the answer
+ */
+export const decideWeights = (
+  state: WeightsState,
+  event: WeightsEvent,
+  settings: PlatformSettings,
+  now: Millis,
+): Step<WeightsState, PlatformEffect> => {
+  const { weightsPerSecond, weightsBurst } = settings;
+  const decision = takeAllowance(state.allowance, weightsPerSecond, weightsBurst, now);
+  const next = { allowance: decision.allowance };
+  const { reply, model, version } = event;
+  if (decision.kind === 'allowed') {
+    return toStep(next, {
+      kind: 'answer',
+      reply,
+      answer: { status: 200, body: { model, version } },
+    });
+  }
+  const { retryAfterMs } = decision;
+  const headers = { 'retry-after': Math.ceil(retryAfterMs / 1_000).toString() };
+  const body = { error: 'too many fetches', retryAfterMs };
+  return toStep(next, { kind: 'answer', reply, answer: { status: 429, headers, body } });
+};
+
+/**
+ * Creates the child that holds the weight store.
+ *
+ * @param settings - rate and burst
+ * @param clock - time of fetches
+ * @returns the decisions of the child
+ */
+export const createWeightsChild = (
+  settings: PlatformSettings,
+  clock: Clock,
+): ChildLogic<WeightsState, WeightsEvent, PlatformEffect> => ({
+  init: () => toStep({ allowance: { left: settings.weightsBurst, at: clock.now() } }),
+  decide: (state, event) => decideWeights(state, event, settings, clock.now()),
+});
