Add the adapters of the entry daemon: callers, endpoint daemons and heartbeats

The callers' interface checks bodies, keys and routes before anything is posted, so each refusal there is certainly not-run. One RPC listener serves both daemons; its pings find a frozen link that TCP would keep for minutes.

--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -70,12 +70,32 @@
 /** Priority numbers of the chat-completions interface: a lower number runs first. */
 const ENGINE_PRIORITIES = { critical: 0, standard: 10, background: 20 } as const;
 
+interface Gate {
+  readonly opened: Promise<void>;
+  readonly open: () => void;
+}
+
+interface RunningGeneration {
+  readonly controller: AbortController;
+  /** Set while reading from the engine is held back; TCP then slows the engine's sender. */
+  gate: Gate | null;
+}
+
+const createGate = (): Gate => {
+  let open: () => void = () => undefined;
+  const opened = new Promise<void>((resolve) => {
+    open = resolve;
+  });
+  return { opened, open };
+};
+
 export interface EngineClient {
   readonly fetchHealth: () => void;
   readonly fetchLoad: () => void;
   readonly fetchCacheEvents: (from: number) => void;
   readonly startGeneration: (generationId: GenerationId, call: GenerateCall) => void;
   readonly cancelGeneration: (generationId: GenerationId) => void;
+  readonly setFlow: (generationId: GenerationId, flow: 'flowing' | 'paused') => void;
   readonly callService: (call: ServiceCall) => void;
   readonly close: () => Promise<void>;
 }
@@ -92,7 +112,7 @@
   post: (event: EndpointEvent) => void,
 ): EngineClient => {
   const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 1, bodyTimeout: 0 });
-  const running = new Map<GenerationId, AbortController>();
+  const running = new Map<GenerationId, RunningGeneration>();
 
   const fetchJson = async (path: string): Promise<unknown> => {
     const answer = await request(`${baseUrl}${path}`, {
@@ -144,7 +164,11 @@
     );
   };
 
-  const readChunks = async (generationId: GenerationId, body: Dispatcher.ResponseData['body']) => {
+  const readChunks = async (
+    generationId: GenerationId,
+    body: Dispatcher.ResponseData['body'],
+    state: RunningGeneration,
+  ): Promise<void> => {
     const progress: { state: 'open' | 'done'; usage: string } = { state: 'open', usage: '' };
     let choices: string[] = [];
     const parser = createParser({
@@ -167,6 +191,7 @@
         post({ to: 'streams', kind: 'engine-chunks', generationId, choices });
         choices = [];
       }
+      if (state.gate !== null) await state.gate.opened;
     }
     if (progress.state === 'open') {
       throw new Error('the engine ended the stream before its end mark');
@@ -176,7 +201,8 @@
 
   const generate = async (generationId: GenerationId, call: GenerateCall): Promise<void> => {
     const controller = new AbortController();
-    running.set(generationId, controller);
+    const state: RunningGeneration = { controller, gate: null };
+    running.set(generationId, state);
     try {
       const body = JSON.parse(Buffer.from(call.body).toString('utf8')) as Record<string, unknown>;
       const answer = await request(`${baseUrl}/v1/chat/completions`, {
@@ -202,7 +228,7 @@
         post({ to: 'streams', kind: 'engine-failed', generationId, failure });
         return;
       }
-      await readChunks(generationId, answer.body);
+      await readChunks(generationId, answer.body, state);
     } catch (error) {
       if (controller.signal.aborted) return;
       post({ to: 'streams', kind: 'engine-failed', generationId, failure: toFailure(error) });
@@ -245,9 +271,16 @@
     fetchCacheEvents,
     startGeneration: (generationId, call) => void generate(generationId, call),
     cancelGeneration: (generationId) => {
-      running.get(generationId)?.abort();
+      running.get(generationId)?.gate?.open();
+      running.get(generationId)?.controller.abort();
       running.delete(generationId);
     },
+    setFlow: (generationId, flow) => {
+      const state = running.get(generationId);
+      if (state === undefined) return;
+      state.gate?.open();
+      state.gate = flow === 'paused' ? createGate() : null;
+    },
     callService: (call) => void callOnce(call),
     close: () => agent.destroy(),
   };
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -1,8 +1,10 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import type { Http2SessionManager } from '@connectrpc/connect-node';
 import type { Clock } from '../../core/clock.js';
+import { createPeerSession } from '../../wire/rpcListener.js';
 import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
 import {
   EntryService,
@@ -91,7 +93,7 @@
   const connect = (url: string): Connection => {
     const known = connections.get(url);
     if (known !== undefined) return known;
-    const manager = new Http2SessionManager(url);
+    const manager = createPeerSession(url);
     const transport = createConnectTransport({
       baseUrl: url,
       httpVersion: '2',
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -1,14 +1,10 @@
-import { createServer } from 'node:http2';
-import type { Http2Session } from 'node:http2';
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
-import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { createAsyncQueue } from '../../core/asyncQueue.js';
 import type { AsyncQueue } from '../../core/asyncQueue.js';
 import { createId } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
-import { MAX_MESSAGE_BYTES } from '../../wire/constants.js';
 import { toCallFailure } from '../../wire/failureCodec.js';
 import {
   CallAnswerSchema,
@@ -28,6 +24,7 @@
   GenerateEvent,
   GenerateRequest,
 } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import { createRpcListener } from '../../wire/rpcListener.js';
 import type {
   CallId,
   EndpointEvent,
@@ -57,6 +54,8 @@
   deadlineMs: message.deadlineMs,
   promptTokens: message.promptTokens,
   entry: message.entry,
+  stream: message.stream,
+  link: message.link,
   body: message.body,
 });
 
@@ -96,7 +95,6 @@
   const readers = new Map<CallId, AsyncQueue<GenerateEvent>>();
   const calls = new Map<CallId, (answer: CallResponse) => void>();
   const fences = new Map<CallId, (answer: FenceResponse) => void>();
-  const sessions = new Set<Http2Session>();
 
   async function* streamGeneration(message: GenerateRequest): AsyncGenerator<GenerateEvent> {
     const callId = createId();
@@ -107,7 +105,14 @@
       sendFailure(callId, SHED_FAILURE);
     }
     try {
-      yield* queue;
+      for await (const event of queue) {
+        yield event;
+        if (event.event.case !== 'chunks') continue;
+        const { firstNumber, choices } = event.event.value;
+        // The transport has taken the message, so the buffer may send and drop more.
+        const nextNumber = firstNumber + choices.length;
+        post({ to: 'streams', kind: 'reader-took', callId, nextNumber });
+      }
     } finally {
       if (readers.delete(callId)) post({ to: 'streams', kind: 'reader-gone', callId });
     }
@@ -179,18 +184,7 @@
     });
   };
 
-  const server = createServer(
-    { settings: { maxConcurrentStreams: 100_000 } },
-    connectNodeAdapter({
-      routes: registerRoutes,
-      readMaxBytes: MAX_MESSAGE_BYTES,
-      writeMaxBytes: MAX_MESSAGE_BYTES,
-    }),
-  );
-  server.on('session', (session) => {
-    sessions.add(session);
-    session.on('close', () => sessions.delete(session));
-  });
+  const listener = createRpcListener(registerRoutes);
 
   return {
     sendStarted: (callId) => {
@@ -219,21 +213,7 @@
       const stored = answer === null ? {} : { answer: toAnswerMessage(answer) };
       resolve?.(create(FenceResponseSchema, { result, ...stored }));
     },
-    listen: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, host, () => {
-          const address = server.address();
-          const bound = typeof address === 'object' && address !== null ? address.port : port;
-          resolve(`http://${host}:${bound.toString()}`);
-        });
-      }),
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        for (const session of sessions) session.close();
-      }),
+    listen: listener.listen,
+    close: listener.close,
   };
 };
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -32,6 +32,9 @@
   readonly deadlineMs: Millis;
   readonly promptTokens: number;
   readonly entry: string;
+  /** Identity of the caller's stream at the entry daemon, and the number of this link to it. */
+  readonly stream: string;
+  readonly link: number;
   readonly body: Uint8Array;
 }
 
@@ -182,6 +185,12 @@
       readonly generationId: GenerationId;
       readonly failure: Failure;
     }
+  | {
+      readonly to: 'streams';
+      readonly kind: 'reader-took';
+      readonly callId: CallId;
+      readonly nextNumber: number;
+    }
   | { readonly to: 'streams'; readonly kind: 'reader-gone'; readonly callId: CallId }
   | {
       readonly to: 'streams';
@@ -260,6 +269,12 @@
       readonly call: GenerateCall;
     }
   | { readonly kind: 'cancel-generation'; readonly generationId: GenerationId }
+  /** Stops or continues reading from the engine's connection. */
+  | {
+      readonly kind: 'set-engine-flow';
+      readonly generationId: GenerationId;
+      readonly flow: 'flowing' | 'paused';
+    }
   | { readonly kind: 'send-started'; readonly callId: CallId }
   | {
       readonly kind: 'send-chunks';
--- /dev/null
+++ b/packages/entry/frontend/callerServer.ts
@@ -0,0 +1,236 @@
+import { createHash } from 'node:crypto';
+import fastify from 'fastify';
+import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { version as getUuidVersion, validate } from 'uuid';
+import { createKeyTable } from './authentication.js';
+import { parseRequestBody } from './requestBody.js';
+import type { Responders } from './responders.js';
+import { findServiceRoute } from './serviceRoutes.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import { createId } from '../../core/ids.js';
+import type { ModelName } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type { EntrySettings } from '../../settings/types.js';
+import { toProblem } from '../../wire/problem.js';
+import { verifyEventId } from '../../wire/resumeTicket.js';
+import type { AnswerForm, CallerRequest, HeaderField } from '../types.js';
+
+type Customer = EntrySettings['customers'][number];
+
+export interface CallerServerOptions {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly responders: Responders;
+  readonly postRequest: (request: CallerRequest) => 'queued' | 'shed';
+  readonly postCallerGone: (requestId: string) => void;
+  readonly listModels: () => readonly ModelName[];
+}
+
+const MAX_REQUEST_ID_LENGTH = 128;
+const UUID_VERSION_WITH_TIME = 7;
+const MAX_KEY_LENGTH = 256;
+
+/** Headers of a service call that go through; the rest belong to the hop between caller and entry. */
+const FORWARDED_HEADERS: ReadonlySet<string> = new Set([
+  'accept',
+  'content-type',
+  'idempotency-key',
+  'x-request-id',
+]);
+
+const getHeader = (request: FastifyRequest, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' && value !== '' ? value : undefined;
+};
+
+const toBytes = (body: unknown): Uint8Array => (body instanceof Buffer ? body : new Uint8Array());
+
+const readTimeOfUuid = (key: string): Millis | null => {
+  if (!validate(key) || getUuidVersion(key) !== UUID_VERSION_WITH_TIME) return null;
+  return Number.parseInt(key.replaceAll('-', '').slice(0, 12), 16);
+};
+
+/** Reads the time of issue of a key: from its header, else from a UUIDv7, else unknown. */
+const readKeyTime = (header: string | undefined, key: string): Result<Millis | null, Failure> => {
+  if (header === undefined) return Ok(readTimeOfUuid(key));
+  const time = /^\d+$/.test(header) ? Number(header) : Date.parse(header);
+  if (Number.isFinite(time)) return Ok(time);
+  const text = 'Idempotency-Key-Issued-At must be milliseconds since the epoch or an ISO date';
+  return Err(createFailure('not-run', 'bad-request', text));
+};
+
+const sendProblem = (reply: FastifyReply, requestId: string, failure: Failure): FastifyReply => {
+  const problem = toProblem(failure, requestId);
+  return reply
+    .code(problem.status)
+    .header('x-request-id', requestId)
+    .type('application/problem+json')
+    .send(problem);
+};
+
+/**
+ * Creates the callers' HTTP interface. It checks and reads requests; the loop decides on them.
+ *
+ * @param options - settings, open answers and the way into the loop
+ * @returns the server, not yet listening
+ */
+export const createCallerServer = (options: CallerServerOptions): FastifyInstance => {
+  const { settings, clock, responders } = options;
+  const customers = createKeyTable<Customer>(settings.customers);
+  const server = fastify({
+    bodyLimit: settings.limits.maxBodyBytes,
+    forceCloseConnections: 'idle',
+    requestIdHeader: false,
+  });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    done(null, body);
+  });
+
+  const readRequestId = (request: FastifyRequest): string => {
+    const given = getHeader(request, 'x-request-id');
+    const usable =
+      given !== undefined && given.length <= MAX_REQUEST_ID_LENGTH && !responders.has(given);
+    return usable ? given : createId();
+  };
+
+  const readBase = (request: FastifyRequest, requestId: string, customer: Customer) => ({
+    requestId,
+    customer: customer.id,
+    className: getHeader(request, 'x-chestnutspan-class') ?? null,
+    receivedAt: clock.now(),
+  });
+
+  const submit = (reply: FastifyReply, callerRequest: CallerRequest, form: AnswerForm): void => {
+    const { requestId } = callerRequest;
+    responders.open(requestId, reply, form);
+    reply.raw.on('close', () => {
+      if (responders.has(requestId)) options.postCallerGone(requestId);
+    });
+    if (options.postRequest(callerRequest) === 'queued') return;
+    const failure = createFailure('not-run', 'shed', 'the entry daemon is overloaded', 1_000);
+    responders.failRequest(requestId, failure);
+  };
+
+  const readResume = (
+    request: FastifyRequest,
+    requestId: string,
+    customer: Customer,
+    eventId: string,
+  ): Result<CallerRequest, Failure> => {
+    const verified = verifyEventId(eventId, settings.ticketKey, clock.now());
+    if (verified.isErr() || verified.value.ticket.customer !== customer.id) {
+      const reason = verified.isErr() ? verified.error : 'of another customer';
+      // The generation may have run, whatever is wrong with the ticket.
+      const text = `Last-Event-ID is ${reason}`;
+      return Err(createFailure('may-have-run', 'bad-request', text));
+    }
+    const { ticket, lastNumber } = verified.value;
+    return Ok({
+      ...readBase(request, requestId, customer),
+      kind: 'resume',
+      fingerprint: '',
+      generationId: ticket.generationId,
+      endpoint: ticket.endpoint,
+      incarnation: ticket.incarnation,
+      lastNumber,
+    });
+  };
+
+  const handleChat = (request: FastifyRequest, reply: FastifyReply): FastifyReply => {
+    const requestId = readRequestId(request);
+    const customer = customers.findHolder(request.headers.authorization);
+    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    const eventId = getHeader(request, 'last-event-id');
+    if (eventId !== undefined) {
+      const resume = readResume(request, requestId, customer, eventId);
+      if (resume.isErr()) return sendProblem(reply, requestId, resume.error);
+      submit(reply, resume.value, { kind: 'stream', usage: 'left-out' });
+      return reply;
+    }
+    const body = toBytes(request.body);
+    const parsed = parseRequestBody(body);
+    if (parsed.isErr()) return sendProblem(reply, requestId, parsed.error);
+    const base = readBase(request, requestId, customer);
+    submit(reply, { ...base, ...parsed.value, kind: 'generation', body }, parsed.value.form);
+    return reply;
+  };
+
+  const handleService = (request: FastifyRequest, reply: FastifyReply): FastifyReply => {
+    const requestId = readRequestId(request);
+    const customer = customers.findHolder(request.headers.authorization);
+    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    const { name = '', '*': rest = '' } = request.params as Record<string, string | undefined>;
+    const route = findServiceRoute(settings.services, name, request.method, `/${rest}`);
+    if (route.isErr()) return sendProblem(reply, requestId, route.error);
+    const key = getHeader(request, 'idempotency-key') ?? null;
+    if (key !== null && key.length > MAX_KEY_LENGTH) {
+      const text = `Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`;
+      return sendProblem(reply, requestId, createFailure('not-run', 'bad-request', text));
+    }
+    const issuedAt =
+      key === null ? Ok(null) : readKeyTime(getHeader(request, 'idempotency-key-issued-at'), key);
+    if (issuedAt.isErr()) return sendProblem(reply, requestId, issuedAt.error);
+    const body = toBytes(request.body);
+    const path = request.url.slice(`/services/${name}`.length);
+    const callerRequest: CallerRequest = {
+      ...readBase(request, requestId, customer),
+      kind: 'service',
+      service: name,
+      method: request.method,
+      path,
+      headers: listForwarded(request),
+      body,
+      repeat: route.value.repeat,
+      routeClass: route.value.className ?? null,
+      key,
+      keyIssuedAt: issuedAt.value,
+      fingerprint: hashCall(request.method, `/${name}${path}`, body),
+    };
+    submit(reply, callerRequest, { kind: 'whole' });
+    return reply;
+  };
+
+  server.post('/v1/chat/completions', handleChat);
+  server.get('/v1/chat/completions', handleChat);
+  server.get('/v1/models', (request, reply) => {
+    const requestId = readRequestId(request);
+    const customer = customers.findHolder(request.headers.authorization);
+    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    const data = options
+      .listModels()
+      .map((id) => ({ id, object: 'model', created: 0, owned_by: 'chestnutspan' }));
+    return reply.send({ object: 'list', data });
+  });
+  server.all('/services/:name/*', handleService);
+
+  server.setNotFoundHandler((request, reply) => {
+    const text = `no such path: ${request.method} ${request.url}`;
+    return sendProblem(reply, createId(), createFailure('not-run', 'unknown-service', text));
+  });
+  server.setErrorHandler((error: FastifyError, _request, reply) => {
+    const isLarge = error.code === 'FST_ERR_CTP_BODY_TOO_LARGE';
+    const isCallers = error.statusCode !== undefined && error.statusCode < 500;
+    const code = isLarge ? 'too-large' : isCallers ? 'bad-request' : 'internal';
+    return sendProblem(reply, createId(), createFailure('not-run', code, error.message));
+  });
+  return server;
+};
+
+const sendUnauthorized = (reply: FastifyReply, requestId: string): FastifyReply =>
+  sendProblem(
+    reply,
+    requestId,
+    createFailure('not-run', 'unauthorized', 'the bearer key is missing or unknown'),
+  );
+
+const listForwarded = (request: FastifyRequest): readonly HeaderField[] =>
+  Object.entries(request.headers).flatMap(([name, value]) =>
+    typeof value === 'string' && FORWARDED_HEADERS.has(name) ? [{ name, value }] : [],
+  );
+
+const hashCall = (method: string, path: string, body: Uint8Array): string =>
+  createHash('sha256').update(`${method} ${path}\n`).update(body).digest('base64url');
--- /dev/null
+++ b/packages/entry/frontend/constants.ts
@@ -0,0 +1,11 @@
+/** Common estimate of characters per token; only admission uses it, never billing. */
+export const CHARACTERS_PER_TOKEN = 4;
+
+/** Tokens that an engine adds to each message of a chat. */
+export const MESSAGE_OVERHEAD_TOKENS = 4;
+
+/** Characters at the start of a prompt that name its cached prefix. */
+export const PREFIX_CHARACTERS = 256;
+
+/** Unsent bytes of one caller's stream above which its connection is closed; it can resume. */
+export const CALLER_BACKLOG_BYTES = 1_048_576;
--- /dev/null
+++ b/packages/entry/frontend/requestBody.ts
@@ -0,0 +1,78 @@
+import { createHash } from 'node:crypto';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { z } from 'zod';
+import { CHARACTERS_PER_TOKEN, MESSAGE_OVERHEAD_TOKENS, PREFIX_CHARACTERS } from './constants.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type { GenerationRequest } from '../types.js';
+
+const contentSchema = z.union([z.string(), z.array(z.unknown()), z.null()]);
+
+const bodySchema = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(z.looseObject({ role: z.string(), content: contentSchema.optional() })).min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+});
+
+/** What the daemon needs of a chat-completions body; the rest goes to the engine unread. */
+export type ParsedBody = Pick<
+  GenerationRequest,
+  'model' | 'form' | 'promptTokens' | 'maxTokens' | 'prefix' | 'fingerprint'
+>;
+
+const listTexts = (messages: z.output<typeof bodySchema>['messages']): readonly string[] =>
+  messages.map(({ content }) =>
+    typeof content === 'string' ? content : JSON.stringify(content ?? ''),
+  );
+
+const hashText = (text: string): string => createHash('sha256').update(text).digest('base64url');
+
+/**
+ * Computes the hash by which endpoints name a cached prompt prefix.
+ *
+ * @param text - contents of all messages, joined
+ * @returns the hash
+ */
+export const hashPrefix = (text: string): string =>
+  createHash('sha256').update(text.slice(0, PREFIX_CHARACTERS)).digest('hex').slice(0, 16);
+
+/**
+ * Checks a chat-completions body and reads what placement needs.
+ *
+ * @param bytes - JSON body as it was received
+ * @returns the parsed body, or a `not-run` failure that names the field
+ */
+export const parseRequestBody = (bytes: Uint8Array): Result<ParsedBody, Failure> => {
+  const text = Buffer.from(bytes).toString('utf8');
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Err(createFailure('not-run', 'bad-request', `malformed JSON: ${reason}`));
+  }
+  const parsed = bodySchema.safeParse(json);
+  if (!parsed.success) {
+    return Err(createFailure('not-run', 'bad-request', z.prettifyError(parsed.error)));
+  }
+  const { model, messages, stream, stream_options: options } = parsed.data;
+  const contents = listTexts(messages);
+  const joined = contents.join('');
+  return Ok({
+    model,
+    form:
+      stream === true
+        ? { kind: 'stream', usage: options?.include_usage === true ? 'included' : 'left-out' }
+        : { kind: 'whole' },
+    promptTokens:
+      Math.ceil(joined.length / CHARACTERS_PER_TOKEN) + messages.length * MESSAGE_OVERHEAD_TOKENS,
+    maxTokens: parsed.data.max_completion_tokens ?? parsed.data.max_tokens ?? null,
+    prefix: hashPrefix(joined),
+    // The form of the answer is left out, so that the same content sent again is recognised.
+    fingerprint: hashText(`${model}\n${contents.join('\n')}`),
+  });
+};
--- /dev/null
+++ b/packages/entry/frontend/responders.ts
@@ -0,0 +1,168 @@
+import type { FastifyReply } from 'fastify';
+import { CALLER_BACKLOG_BYTES } from './constants.js';
+import { buildWholeAnswer, formatAnswerFields } from './wholeAnswer.js';
+import type { AnswerIdentity } from './wholeAnswer.js';
+import type { RequestId } from '../../core/ids.js';
+import type { Failure } from '../../core/verdict.js';
+import { toProblem } from '../../wire/problem.js';
+import { formatEventId } from '../../wire/resumeTicket.js';
+import type { AnswerForm, ServiceAnswer } from '../types.js';
+
+/** Chunks of one generation for a caller. */
+export interface ChunkWrite {
+  readonly requestId: RequestId;
+  readonly identity: AnswerIdentity;
+  readonly ticket: string;
+  readonly fromNumber: number;
+  readonly chunks: readonly string[];
+}
+
+/** Open answers to callers. */
+export interface Responders {
+  /** Takes over the connection of a request. */
+  readonly open: (requestId: RequestId, reply: FastifyReply, form: AnswerForm) => void;
+  readonly has: (requestId: RequestId) => boolean;
+  readonly count: () => number;
+  /** Writes chunks; `slow` when the caller leaves too much unread. */
+  readonly writeChunks: (write: ChunkWrite) => 'written' | 'slow';
+  readonly finishGeneration: (requestId: RequestId, usage: string) => void;
+  readonly sendAnswer: (requestId: RequestId, answer: ServiceAnswer) => void;
+  readonly failRequest: (requestId: RequestId, failure: Failure) => void;
+  /** Ends the connection after a resume ticket, without an end mark. */
+  readonly handOver: (requestId: RequestId, ticket: string, nextNumber: number) => void;
+}
+
+interface Responder {
+  readonly reply: FastifyReply;
+  readonly form: AnswerForm;
+  identity: AnswerIdentity | null;
+  chunks: string[];
+  head: string;
+}
+
+const SSE_HEADERS = {
+  'content-type': 'text/event-stream; charset=utf-8',
+  'cache-control': 'no-cache',
+  connection: 'keep-alive',
+} as const;
+
+const formatHead = (identity: AnswerIdentity): string => {
+  const fields = JSON.stringify(formatAnswerFields(identity, 'chat.completion.chunk'));
+  return `data: ${fields.slice(0, -1)},"choices":`;
+};
+
+const sendJson = (
+  responder: Responder,
+  requestId: RequestId,
+  status: number,
+  type: string,
+  body: unknown,
+): void => {
+  const { raw } = responder.reply;
+  raw.writeHead(status, { 'content-type': type, 'x-request-id': requestId });
+  raw.end(JSON.stringify(body));
+};
+
+const sendProblem = (responder: Responder, requestId: RequestId, failure: Failure): void => {
+  const problem = toProblem(failure, requestId);
+  const { raw } = responder.reply;
+  if (failure.retryAfterMs !== undefined) {
+    raw.setHeader('retry-after', Math.max(1, Math.ceil(failure.retryAfterMs / 1_000)));
+  }
+  sendJson(responder, requestId, problem.status, 'application/problem+json', problem);
+};
+
+/**
+ * Creates the table of open answers. Each is written by effects of the loop alone.
+ *
+ * @returns the empty table
+ */
+export const createResponders = (): Responders => {
+  const open = new Map<RequestId, Responder>();
+
+  const openStream = (responder: Responder, requestId: RequestId, identity: AnswerIdentity) => {
+    if (responder.identity !== null) return;
+    responder.identity = identity;
+    responder.head = formatHead(identity);
+    if (responder.form.kind === 'stream') {
+      responder.reply.raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
+    }
+  };
+
+  const take = (requestId: RequestId): Responder | undefined => {
+    const responder = open.get(requestId);
+    open.delete(requestId);
+    return responder;
+  };
+
+  return {
+    open: (requestId, reply, form) => {
+      reply.hijack();
+      open.set(requestId, { reply, form, identity: null, chunks: [], head: '' });
+    },
+    has: (requestId) => open.has(requestId),
+    count: () => open.size,
+    writeChunks: ({ requestId, identity, ticket, fromNumber, chunks }) => {
+      const responder = open.get(requestId);
+      if (responder === undefined) return 'written';
+      openStream(responder, requestId, identity);
+      if (responder.form.kind === 'whole') {
+        for (const chunk of chunks) responder.chunks.push(chunk);
+        return 'written';
+      }
+      const { head } = responder;
+      const text = chunks
+        .map(
+          (chunk, index) =>
+            `id: ${formatEventId(ticket, fromNumber + index)}\n${head}${chunk}}\n\n`,
+        )
+        .join('');
+      const { raw } = responder.reply;
+      raw.write(text);
+      return raw.writableLength > CALLER_BACKLOG_BYTES ? 'slow' : 'written';
+    },
+    finishGeneration: (requestId, usage) => {
+      const responder = take(requestId);
+      if (responder === undefined) return;
+      const { raw } = responder.reply;
+      const { identity, form } = responder;
+      if (form.kind === 'whole' && identity !== null) {
+        const body = buildWholeAnswer(identity, responder.chunks, usage);
+        sendJson(responder, requestId, 200, 'application/json; charset=utf-8', body);
+        return;
+      }
+      if (!raw.headersSent) raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
+      if (form.kind === 'stream' && form.usage === 'included' && usage !== '') {
+        raw.write(`${responder.head}[],"usage":${usage}}\n\n`);
+      }
+      raw.end('data: [DONE]\n\n');
+    },
+    sendAnswer: (requestId, answer) => {
+      const responder = take(requestId);
+      if (responder === undefined) return;
+      const headers = answer.headers.map(({ name, value }) => [name, value] as const);
+      const { raw } = responder.reply;
+      raw.writeHead(answer.status, { ...Object.fromEntries(headers), 'x-request-id': requestId });
+      raw.end(answer.body);
+    },
+    failRequest: (requestId, failure) => {
+      const responder = take(requestId);
+      if (responder === undefined) return;
+      const { raw } = responder.reply;
+      if (!raw.headersSent) {
+        sendProblem(responder, requestId, failure);
+        return;
+      }
+      const problem = toProblem(failure, requestId);
+      raw.end(`event: error\ndata: ${JSON.stringify({ ...problem })}\n\n`);
+    },
+    handOver: (requestId, ticket, nextNumber) => {
+      const responder = take(requestId);
+      if (responder === undefined) return;
+      const { raw } = responder.reply;
+      if (!raw.headersSent) raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
+      // `retry: 0` asks event-stream clients to reconnect at once with the last id.
+      raw.end(`retry: 0\nid: ${formatEventId(ticket, nextNumber - 1)}\n: moved\n\n`);
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/membership/heartbeatServer.ts
@@ -0,0 +1,105 @@
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { createId } from '../../core/ids.js';
+import { MESSAGE_FORMAT } from '../../wire/constants.js';
+import {
+  EntryService,
+  HeartbeatResponseSchema,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type {
+  HeartbeatRequest,
+  HeartbeatResponse,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import { createRpcListener } from '../../wire/rpcListener.js';
+import type { HeartbeatReply, ReceivedHeartbeat } from '../types.js';
+
+export interface HeartbeatServer {
+  readonly replyHeartbeat: (heartbeatId: string, reply: HeartbeatReply) => void;
+  readonly listen: (host: string, port: number) => Promise<string>;
+  readonly close: () => Promise<void>;
+}
+
+const decodeHeartbeat = (message: HeartbeatRequest): ReceivedHeartbeat => ({
+  endpoint: message.endpoint,
+  instance: message.instance,
+  dataCentre: message.dataCentre,
+  incarnation: message.incarnation,
+  sequence: message.sequence,
+  phase: message.phase,
+  rpcUrl: message.rpcUrl,
+  httpUrl: message.httpUrl,
+  model: message.model === '' ? null : message.model,
+  version: message.version,
+  service: message.service === '' ? null : message.service,
+  load: {
+    limit: message.load?.limit ?? 0,
+    running: message.load?.running ?? 0,
+    waiting: message.load?.waiting ?? 0,
+    memoryUsedTokens: message.load?.memoryUsedTokens ?? 0,
+    memoryTotalTokens: message.load?.memoryTotalTokens ?? 0,
+    tokensPerSecond: message.load?.tokensPerSecond ?? 0,
+    preemptions: message.load?.preemptions ?? 0,
+    prefixes: message.load?.prefixes ?? [],
+    ageMs: message.load?.ageMs ?? 0,
+    prefixAgeMs: message.load?.prefixAgeMs ?? 0,
+    prefixGaps: message.load?.prefixGaps ?? 0,
+  },
+  evidence: message.evidence,
+  configurationOffset: message.configurationOffset,
+});
+
+const encodeReply = (reply: HeartbeatReply): HeartbeatResponse =>
+  create(HeartbeatResponseSchema, {
+    format: MESSAGE_FORMAT,
+    watermark: reply.watermark,
+    records: reply.records.map(({ offset, at, body }) => ({
+      offset,
+      at,
+      body: JSON.stringify(body),
+    })),
+    snapshot: reply.snapshot === null ? '' : JSON.stringify(reply.snapshot),
+    leaseMs: reply.leaseMs,
+  });
+
+/**
+ * Creates the server of `EntryService`.
+ *
+ * @param post - queues a heartbeat; `shed` when the queue is full
+ * @returns the server, not yet listening
+ */
+export const createHeartbeatServer = (
+  post: (heartbeatId: string, heartbeat: ReceivedHeartbeat) => 'queued' | 'shed',
+): HeartbeatServer => {
+  const waiting = new Map<string, (response: HeartbeatResponse) => void>();
+
+  const handleHeartbeat = (message: HeartbeatRequest): Promise<HeartbeatResponse> => {
+    if (message.format !== MESSAGE_FORMAT) {
+      const text = `heartbeat format ${message.format.toString()} is unknown; this process reads ${MESSAGE_FORMAT.toString()}`;
+      throw new ConnectError(text, Code.InvalidArgument);
+    }
+    const heartbeatId = createId();
+    return new Promise((resolve, reject) => {
+      waiting.set(heartbeatId, resolve);
+      if (post(heartbeatId, decodeHeartbeat(message)) === 'queued') return;
+      waiting.delete(heartbeatId);
+      reject(new ConnectError('the event queue is full', Code.ResourceExhausted));
+    });
+  };
+
+  const registerRoutes = (router: ConnectRouter): void => {
+    router.service(EntryService, { heartbeat: handleHeartbeat });
+  };
+
+  const listener = createRpcListener(registerRoutes);
+
+  return {
+    replyHeartbeat: (heartbeatId, reply) => {
+      const resolve = waiting.get(heartbeatId);
+      waiting.delete(heartbeatId);
+      resolve?.(encodeReply(reply));
+    },
+    listen: listener.listen,
+    close: listener.close,
+  };
+};
--- /dev/null
+++ b/packages/entry/requests/endpointClient.ts
@@ -0,0 +1,384 @@
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError, createClient } from '@connectrpc/connect';
+import type { Client } from '@connectrpc/connect';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import type { Http2SessionManager } from '@connectrpc/connect-node';
+import { LINK_OPEN_TIMEOUT_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { createPeerSession } from '../../wire/rpcListener.js';
+import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
+import { decodeCallFailure } from '../../wire/failureCodec.js';
+import {
+  CallRequestSchema,
+  CancelRequestSchema,
+  EndpointService,
+  FenceRequestSchema,
+  GenerateRequestSchema,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type {
+  CallAnswer,
+  CallResponse,
+  GenerateEvent,
+} from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import type { HeaderField, ServiceAnswer } from '../types.js';
+
+/** Identity of one link of a request's stream to an endpoint daemon. */
+export interface LinkKey {
+  readonly requestId: RequestId;
+  readonly generationId: GenerationId;
+  readonly link: number;
+}
+
+export interface OpenGeneration extends LinkKey {
+  readonly url: string;
+  readonly mode: 'start' | 'resume';
+  readonly fromNumber: number;
+  readonly incarnation: Incarnation;
+  readonly customer: string;
+  readonly className: string;
+  readonly route: string;
+  readonly importance: string;
+  readonly deadlineMs: Millis;
+  readonly fingerprint: string;
+  readonly promptTokens: number;
+  readonly body: Uint8Array;
+}
+
+export interface OpenCall {
+  readonly url: string;
+  readonly requestId: RequestId;
+  readonly attempt: number;
+  readonly customer: string;
+  readonly className: string;
+  readonly importance: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  readonly incarnation: Incarnation;
+  readonly nonce: string | null;
+  readonly key: string | null;
+  readonly deadlineMs: Millis;
+  readonly fingerprint: string;
+}
+
+export interface FenceQuestion {
+  readonly url: string;
+  readonly requestId: RequestId;
+  readonly nonce: string;
+  readonly incarnation: Incarnation;
+}
+
+/** Completions of the calls to endpoint daemons. */
+export type EndpointCompletion =
+  | ({ readonly kind: 'link-opened' } & LinkKey)
+  | ({
+      readonly kind: 'chunks-received';
+      readonly firstNumber: number;
+      readonly choices: readonly string[];
+    } & LinkKey)
+  | ({
+      readonly kind: 'generation-finished';
+      readonly chunkCount: number;
+      readonly usage: string;
+    } & LinkKey)
+  | ({ readonly kind: 'generation-failed'; readonly failure: Failure } & LinkKey)
+  /** The link broke; `unsent` proves that the request never left this process. */
+  | ({
+      readonly kind: 'link-lost';
+      readonly sent: 'sent' | 'unsent';
+      readonly reason: string;
+    } & LinkKey)
+  | {
+      readonly kind: 'call-answered';
+      readonly requestId: RequestId;
+      readonly attempt: number;
+      readonly answer: ServiceAnswer;
+    }
+  | {
+      readonly kind: 'call-failed';
+      readonly requestId: RequestId;
+      readonly attempt: number;
+      readonly failure: Failure;
+    }
+  | {
+      readonly kind: 'fence-answered';
+      readonly requestId: RequestId;
+      readonly nonce: string;
+      readonly result: FenceAnswer;
+    };
+
+export type FenceAnswer =
+  | { readonly kind: 'fenced' }
+  | { readonly kind: 'started' }
+  | { readonly kind: 'finished'; readonly answer: ServiceAnswer | null }
+  | { readonly kind: 'unknown-incarnation' }
+  | { readonly kind: 'unreachable'; readonly reason: string };
+
+export interface EndpointClient {
+  readonly openGeneration: (open: OpenGeneration) => void;
+  /** Stops reading a link; the generation goes on at the endpoint daemon. */
+  readonly closeLink: (requestId: RequestId, link: number) => void;
+  readonly cancelGeneration: (
+    url: string,
+    generationId: GenerationId,
+    incarnation: Incarnation,
+  ) => void;
+  readonly callEndpoint: (call: OpenCall) => void;
+  readonly fenceNonce: (question: FenceQuestion) => void;
+  readonly close: () => void;
+}
+
+interface Connection {
+  readonly client: Client<typeof EndpointService>;
+  readonly manager: Http2SessionManager;
+}
+
+const getReason = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
+
+const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+/** A refused connection proves that nothing was sent; every other error leaves it open. */
+const checkSent = (error: unknown): 'sent' | 'unsent' => {
+  const { cause } = ConnectError.from(error);
+  const code = cause instanceof Error && 'code' in cause ? String(cause.code) : '';
+  return UNSENT_CODES.has(code) ? 'unsent' : 'sent';
+};
+
+const decodeAnswer = (answer: CallAnswer): ServiceAnswer => ({
+  status: answer.status,
+  headers: answer.headers.map(({ name, value }) => ({ name, value })),
+  body: answer.body,
+});
+
+const getLinkId = (requestId: RequestId, link: number): string => `${requestId}/${link.toString()}`;
+
+/**
+ * Creates the adapter that calls endpoint daemons. Each completion is posted as an event.
+ *
+ * @param entry - name of this process, for the endpoint daemons' events
+ * @param post - receives the completions
+ * @returns the adapter
+ */
+export const createEndpointClient = (
+  entry: string,
+  post: (completion: EndpointCompletion) => void,
+): EndpointClient => {
+  const connections = new Map<string, Connection>();
+  const links = new Map<string, AbortController>();
+
+  const connect = (url: string): Client<typeof EndpointService> => {
+    const known = connections.get(url);
+    if (known !== undefined) return known.client;
+    const manager = createPeerSession(url);
+    const transport = createConnectTransport({
+      baseUrl: url,
+      httpVersion: '2',
+      sessionManager: manager,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const client = createClient(EndpointService, transport);
+    connections.set(url, { client, manager });
+    return client;
+  };
+
+  const postEvent = (key: LinkKey, { event }: GenerateEvent): 'open' | 'ended' => {
+    switch (event.case) {
+      case 'started':
+        post({ kind: 'link-opened', ...key });
+        return 'open';
+      case 'chunks': {
+        const { firstNumber, choices } = event.value;
+        post({ kind: 'chunks-received', ...key, firstNumber, choices });
+        return 'open';
+      }
+      case 'finished': {
+        const { chunkCount, usage } = event.value;
+        post({ kind: 'generation-finished', ...key, chunkCount, usage });
+        return 'ended';
+      }
+      case 'failed':
+        post({ kind: 'generation-failed', ...key, failure: decodeCallFailure(event.value) });
+        return 'ended';
+      case undefined:
+        return 'open';
+      default:
+        return assertNever(event);
+    }
+  };
+
+  const readLink = async (open: OpenGeneration): Promise<void> => {
+    const { requestId, generationId, link } = open;
+    const key: LinkKey = { requestId, generationId, link };
+    const controller = new AbortController();
+    const linkId = getLinkId(requestId, link);
+    links.set(linkId, controller);
+    const opening = setTimeout(() => {
+      controller.abort(new Error('the endpoint daemon did not answer'));
+    }, LINK_OPEN_TIMEOUT_MS);
+    try {
+      const message = create(GenerateRequestSchema, {
+        format: MESSAGE_FORMAT,
+        generationId,
+        requestId,
+        customer: open.customer,
+        className: open.className,
+        route: open.route,
+        incarnation: open.incarnation,
+        resumeFrom: open.fromNumber,
+        mode: open.mode,
+        importance: open.importance,
+        deadlineMs: open.deadlineMs,
+        fingerprint: open.fingerprint,
+        promptTokens: open.promptTokens,
+        body: open.body,
+        entry,
+        stream: requestId,
+        link,
+      });
+      const events = connect(open.url).generate(message, { signal: controller.signal });
+      for await (const event of events) {
+        clearTimeout(opening);
+        if (postEvent(key, event) === 'ended') return;
+      }
+      post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
+    } catch (error) {
+      if (!links.has(linkId)) return;
+      const reason = getReason(error);
+      post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
+    } finally {
+      clearTimeout(opening);
+      links.delete(linkId);
+    }
+  };
+
+  const toCallCompletion = (call: OpenCall, response: CallResponse): EndpointCompletion => {
+    const { requestId, attempt } = call;
+    const { result } = response;
+    switch (result.case) {
+      case 'answer':
+        return { kind: 'call-answered', requestId, attempt, answer: decodeAnswer(result.value) };
+      case 'failure':
+        return {
+          kind: 'call-failed',
+          requestId,
+          attempt,
+          failure: decodeCallFailure(result.value),
+        };
+      case undefined: {
+        const failure = createFailure('may-have-run', 'internal', 'empty answer of the daemon');
+        return { kind: 'call-failed', requestId, attempt, failure };
+      }
+      default:
+        return assertNever(result);
+    }
+  };
+
+  const toTransportFailure = (error: unknown): Failure => {
+    const reason = getReason(error);
+    if (checkSent(error) === 'unsent') return createFailure('not-run', 'endpoint-lost', reason);
+    const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
+    return createFailure(
+      'may-have-run',
+      isTimeout ? 'deadline-exceeded' : 'endpoint-lost',
+      `no answer from the endpoint daemon: ${reason}`,
+    );
+  };
+
+  const callOnce = async (call: OpenCall): Promise<void> => {
+    const { requestId, attempt } = call;
+    try {
+      const message = create(CallRequestSchema, {
+        format: MESSAGE_FORMAT,
+        requestId,
+        customer: call.customer,
+        className: call.className,
+        importance: call.importance,
+        service: call.service,
+        method: call.method,
+        path: call.path,
+        headers: call.headers.map(({ name, value }) => ({ name, value })),
+        body: call.body,
+        incarnation: call.incarnation,
+        nonce: call.nonce ?? '',
+        idempotencyKey: call.key ?? '',
+        deadlineMs: call.deadlineMs,
+        fingerprint: call.fingerprint,
+        entry,
+      });
+      const timeoutMs = Math.max(1, Math.ceil(call.deadlineMs));
+      post(toCallCompletion(call, await connect(call.url).call(message, { timeoutMs })));
+    } catch (error) {
+      post({ kind: 'call-failed', requestId, attempt, failure: toTransportFailure(error) });
+    }
+  };
+
+  const toFenceAnswer = (result: string, answer: CallAnswer | undefined): FenceAnswer => {
+    switch (result) {
+      case 'fenced':
+      case 'started':
+      case 'unknown-incarnation':
+        return { kind: result };
+      case 'finished':
+        return { kind: 'finished', answer: answer === undefined ? null : decodeAnswer(answer) };
+      default:
+        return { kind: 'unreachable', reason: `unknown fence result ${result}` };
+    }
+  };
+
+  const askFence = async (question: FenceQuestion): Promise<void> => {
+    const { requestId, nonce, incarnation } = question;
+    try {
+      const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
+      const timeoutMs = LINK_OPEN_TIMEOUT_MS;
+      const response = await connect(question.url).fence(message, { timeoutMs });
+      const result = toFenceAnswer(response.result, response.answer);
+      post({ kind: 'fence-answered', requestId, nonce, result });
+    } catch (error) {
+      const result: FenceAnswer = { kind: 'unreachable', reason: getReason(error) };
+      post({ kind: 'fence-answered', requestId, nonce, result });
+    }
+  };
+
+  const sendCancel = async (
+    url: string,
+    generationId: GenerationId,
+    incarnation: Incarnation,
+  ): Promise<void> => {
+    const message = create(CancelRequestSchema, {
+      format: MESSAGE_FORMAT,
+      generationId,
+      incarnation,
+    });
+    // A lost cancel is covered by the orphan timeout of the endpoint daemon.
+    await connect(url)
+      .cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS })
+      .catch(() => undefined);
+  };
+
+  return {
+    openGeneration: (open) => void readLink(open),
+    closeLink: (requestId, link) => {
+      const linkId = getLinkId(requestId, link);
+      const controller = links.get(linkId);
+      links.delete(linkId);
+      controller?.abort();
+    },
+    cancelGeneration: (url, generationId, incarnation) =>
+      void sendCancel(url, generationId, incarnation),
+    callEndpoint: (call) => void callOnce(call),
+    fenceNonce: (question) => void askFence(question),
+    close: () => {
+      for (const controller of links.values()) controller.abort();
+      links.clear();
+      for (const { manager } of connections.values()) manager.abort();
+      connections.clear();
+    },
+  };
+};
--- /dev/null
+++ b/packages/entry/types.ts
@@ -0,0 +1,138 @@
+import type { Millis } from '../core/clock.js';
+import type {
+  ClassName,
+  CustomerId,
+  DataCentreId,
+  EndpointId,
+  GenerationId,
+  Incarnation,
+  ModelName,
+  Offset,
+  RequestId,
+  VersionName,
+} from '../core/ids.js';
+
+export interface HeaderField {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** Fields that every request of a caller has. */
+interface CallerRequestBase {
+  readonly requestId: RequestId;
+  readonly customer: CustomerId;
+  /** Class that the caller named, or null for the default. */
+  readonly className: ClassName | null;
+  readonly receivedAt: Millis;
+  /** Hash of the content, the same when the caller sends the request again. */
+  readonly fingerprint: string;
+}
+
+/** What the caller wants to see of a generation. */
+export type AnswerForm =
+  { readonly kind: 'whole' } | { readonly kind: 'stream'; readonly usage: 'included' | 'left-out' };
+
+export interface GenerationRequest extends CallerRequestBase {
+  readonly kind: 'generation';
+  readonly model: ModelName;
+  readonly form: AnswerForm;
+  readonly promptTokens: number;
+  readonly maxTokens: number | null;
+  readonly prefix: string;
+  /** JSON body for the engine. */
+  readonly body: Uint8Array;
+}
+
+/** A caller that goes on with a stream after it lost its connection. */
+export interface ResumeRequest extends CallerRequestBase {
+  readonly kind: 'resume';
+  readonly generationId: GenerationId;
+  readonly endpoint: EndpointId;
+  readonly incarnation: Incarnation;
+  readonly lastNumber: number;
+}
+
+export interface ServiceRequest extends CallerRequestBase {
+  readonly kind: 'service';
+  readonly service: string;
+  readonly method: string;
+  /** Path and query below the service's base. */
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  readonly repeat: 'allowed' | 'never';
+  readonly routeClass: ClassName | null;
+  readonly key: string | null;
+  readonly keyIssuedAt: Millis | null;
+}
+
+export type CallerRequest = GenerationRequest | ResumeRequest | ServiceRequest;
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+}
+
+/** A heartbeat as it arrived from an endpoint daemon. */
+export interface ReceivedHeartbeat {
+  readonly endpoint: EndpointId;
+  readonly instance: string;
+  readonly dataCentre: DataCentreId;
+  readonly incarnation: Incarnation;
+  readonly sequence: number;
+  readonly phase: string;
+  readonly rpcUrl: string;
+  readonly httpUrl: string;
+  readonly model: ModelName | null;
+  readonly version: VersionName;
+  readonly service: string | null;
+  readonly load: {
+    readonly limit: number;
+    readonly running: number;
+    readonly waiting: number;
+    readonly memoryUsedTokens: number;
+    readonly memoryTotalTokens: number;
+    readonly tokensPerSecond: number;
+    readonly preemptions: number;
+    readonly prefixes: readonly string[];
+    readonly ageMs: Millis;
+    readonly prefixAgeMs: Millis;
+    readonly prefixGaps: number;
+  };
+  readonly evidence: readonly EvidenceCounters[];
+  readonly configurationOffset: Offset;
+}
+
+/** Cumulative counters of one route and class since an endpoint daemon started. */
+export interface EvidenceCounters {
+  readonly route: string;
+  readonly className: ClassName;
+  readonly successes: number;
+  readonly failures: number;
+  readonly slow: number;
+  readonly firstTokenMsSum: Millis;
+  readonly tokenGapMsSum: Millis;
+  readonly tokenGaps: number;
+}
+
+/** One instance of the platform's list. */
+export interface ListedInstance {
+  readonly id: string;
+  readonly role: 'entry' | 'endpoint';
+  readonly dataCentre: DataCentreId;
+  readonly state: 'live' | 'leaving';
+  readonly rpcUrl: string;
+  readonly httpUrl: string;
+}
+
+export interface HeartbeatReply {
+  readonly watermark: Offset;
+  readonly records: readonly {
+    readonly offset: Offset;
+    readonly at: Millis;
+    readonly body: unknown;
+  }[];
+  readonly snapshot: unknown;
+  readonly leaseMs: Millis;
+}
--- a/packages/wire/constants.ts
+++ b/packages/wire/constants.ts
@@ -6,3 +6,12 @@
 
 /** Time for which a resume ticket is good after its stream began. */
 export const TICKET_LIFETIME_MS = 3_600_000;
+
+/** Silence of a link after which it is probed. */
+export const LINK_PING_INTERVAL_MS = 1_000;
+
+/** Time within which a probe must be answered, else the link counts as broken. */
+export const LINK_PING_TIMEOUT_MS = 1_000;
+
+/** Calls on one link at a time; every running stream holds one. */
+export const MAX_CONCURRENT_STREAMS = 100_000;
