--- /dev/null
+++ b/packages/standins/engine/outputs.ts
@@ -0,0 +1,159 @@
+import type { FastifyReply } from 'fastify';
+import { renderToken } from './prompts.js';
+import type { FinishReason, SequenceId, Usage } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+
+/** Shape in which a caller wants its answer. */
+export type OutputMode =
+  | { readonly kind: 'whole' }
+  | { readonly kind: 'stream'; readonly usage: 'with-usage' | 'without-usage' };
+
+/** Answers in progress, by generation. */
+export interface Outputs {
+  /** Registers an answer; `onGone` is called when the caller leaves before the end. */
+  readonly open: (
+    sequence: SequenceId,
+    reply: FastifyReply,
+    mode: OutputMode,
+    onGone: () => void,
+  ) => void;
+  readonly emit: (sequence: SequenceId, index: number) => void;
+  readonly finish: (sequence: SequenceId, reason: FinishReason, usage: Usage) => void;
+  readonly refuse: (sequence: SequenceId, status: number, message: string) => void;
+  readonly break: (sequence: SequenceId) => void;
+}
+
+/** Names that each answer carries. */
+export interface OutputNames {
+  readonly model: string;
+  readonly getVersion: () => string;
+}
+
+interface Output {
+  readonly reply: FastifyReply;
+  readonly mode: OutputMode;
+  readonly created: number;
+  readonly version: string;
+  text: string;
+}
+
+const toUsage = (usage: Usage): object => ({
+  prompt_tokens: usage.promptTokens,
+  completion_tokens: usage.completionTokens,
+  total_tokens: usage.promptTokens + usage.completionTokens,
+  prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+});
+
+const sendJson = (output: Output, status: number, body: unknown): void => {
+  const { raw } = output.reply;
+  raw.writeHead(status, { 'content-type': 'application/json' });
+  raw.end(JSON.stringify(body));
+};
+
+/**
+ * Creates the register of answers in progress. Answers are written to the raw response, because
+ * tokens come from effects of the loop and not from the request's handler.
+ *
+ * @param names - model and version
+ * @returns the empty register
+ */
+export const createOutputs = (names: OutputNames): Outputs => {
+  const outputs = new Map<SequenceId, Output>();
+
+  const buildRecord = (id: SequenceId, output: Output, object: string, rest: object): object => ({
+    id: `chatcmpl-${id}`,
+    object,
+    created: output.created,
+    model: names.model,
+    system_fingerprint: output.version,
+    ...rest,
+  });
+
+  const writeChunk = (id: SequenceId, output: Output, rest: object): void => {
+    const { raw } = output.reply;
+    if (!raw.headersSent) {
+      raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
+    }
+    const chunk = buildRecord(id, output, 'chat.completion.chunk', rest);
+    raw.write(`data: ${JSON.stringify(chunk)}\n\n`);
+  };
+
+  const finishStream = (
+    id: SequenceId,
+    output: Output,
+    reason: FinishReason,
+    usage: Usage | 'without-usage',
+  ): void => {
+    writeChunk(id, output, { choices: [{ index: 0, delta: {}, finish_reason: reason }] });
+    if (usage !== 'without-usage') writeChunk(id, output, { choices: [], usage: toUsage(usage) });
+    output.reply.raw.end('data: [DONE]\n\n');
+  };
+
+  const finishWhole = (
+    id: SequenceId,
+    output: Output,
+    reason: FinishReason,
+    usage: Usage,
+  ): void => {
+    const message = { role: 'assistant', content: output.text };
+    const choices = [{ index: 0, message, finish_reason: reason }];
+    const body = buildRecord(id, output, 'chat.completion', { choices, usage: toUsage(usage) });
+    sendJson(output, 200, body);
+  };
+
+  const take = (id: SequenceId): Output | undefined => {
+    const output = outputs.get(id);
+    outputs.delete(id);
+    return output;
+  };
+
+  return {
+    open: (id, reply, mode, onGone) => {
+      reply.hijack();
+      const created = Math.floor(Date.now() / 1_000);
+      outputs.set(id, { reply, mode, created, version: names.getVersion(), text: '' });
+      reply.raw.once('close', () => {
+        if (outputs.delete(id)) onGone();
+      });
+    },
+    emit: (id, index) => {
+      const output = outputs.get(id);
+      if (output === undefined) return;
+      const text = renderToken(id, index);
+      switch (output.mode.kind) {
+        case 'whole':
+          output.text += text;
+          return;
+        case 'stream': {
+          const role = index === 0 ? { role: 'assistant' } : {};
+          const delta = { ...role, content: text };
+          writeChunk(id, output, { choices: [{ index: 0, delta, finish_reason: null }] });
+          return;
+        }
+        default:
+          assertNever(output.mode);
+      }
+    },
+    finish: (id, reason, usage) => {
+      const output = take(id);
+      if (output === undefined) return;
+      if (output.mode.kind === 'whole') finishWhole(id, output, reason, usage);
+      else
+        finishStream(
+          id,
+          output,
+          reason,
+          output.mode.usage === 'with-usage' ? usage : 'without-usage',
+        );
+    },
+    refuse: (id, status, message) => {
+      const output = take(id);
+      if (output !== undefined) {
+        sendJson(output, status, { error: { message, type: 'engine_error', code: status } });
+      }
+    },
+    break: (id) => {
+      take(id)?.reply.raw.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/packages/standins/engine/prompts.ts
@@ -0,0 +1,74 @@
+import { createHash } from 'node:crypto';
+import { CHARACTERS_PER_TOKEN, PREFIX_CHARACTERS } from './constants.js';
+import { createRandomSource } from '../../core/random.js';
+
+/** Part of a message's content; parts that are not text count as nothing. */
+export interface ContentPart {
+  readonly type: string;
+  readonly text?: string | undefined;
+}
+
+export interface Message {
+  readonly role: string;
+  readonly content?: string | readonly ContentPart[] | null | undefined;
+}
+
+const formatContent = (message: Message): string => {
+  const { content } = message;
+  if (content === undefined || content === null) return '';
+  if (typeof content === 'string') return content;
+  return content.map(({ text }) => text ?? '').join('');
+};
+
+/**
+ * Builds the text of a prompt.
+ *
+ * @param messages - messages of a chat completions request
+ * @returns the contents of all messages, concatenated
+ */
+export const buildPrompt = (messages: readonly Message[]): string =>
+  messages.map(formatContent).join('');
+
+/**
+ * Hashes the part of a prompt that the engine's prefix cache is keyed by.
+ *
+ * @param prompt - contents of all messages, concatenated
+ * @returns 16 hexadecimal digits
+ */
+export const hashPromptPrefix = (prompt: string): string =>
+  createHash('sha256').update(prompt.slice(0, PREFIX_CHARACTERS)).digest('hex').slice(0, 16);
+
+/**
+ * Estimates the length of a prompt.
+ *
+ * @param prompt - contents of all messages, concatenated
+ * @returns tokens, at least one
+ */
+export const countPromptTokens = (prompt: string): number =>
+  Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
+
+/**
+ * Computes the length of an output that the request does not fix. Lengths are exponential around
+ * the mean, so that a few outputs are many times longer than most.
+ *
+ * @param prompt - contents of all messages, concatenated
+ * @param seed - seed of the engine
+ * @param meanTokens - mean length
+ * @returns tokens, at least one; the same for the same prompt and seed
+ */
+export const computeOutputTokens = (prompt: string, seed: number, meanTokens: number): number => {
+  const digest = createHash('sha256').update(`${seed.toString()}:${prompt}`).digest();
+  const share = createRandomSource(digest.readInt32BE(0)).next();
+  return Math.max(1, Math.round(-Math.log(1 - share) * meanTokens));
+};
+
+/**
+ * Renders one token. The first names the generation and the others their number, so that a reader
+ * can prove order and single generation.
+ *
+ * @param generation - id of the generation
+ * @param index - number of the token, from 0
+ * @returns the text, with its trailing space
+ */
+export const renderToken = (generation: string, index: number): string =>
+  index === 0 ? `g${generation} ` : `w${index.toString()} `;
--- /dev/null
+++ b/packages/standins/engine/submission.ts
@@ -0,0 +1,50 @@
+import {
+  buildPrompt,
+  computeOutputTokens,
+  countPromptTokens,
+  hashPromptPrefix,
+} from './prompts.js';
+import type { ChatBody } from './schemas.js';
+import type { EngineSettings, Submission } from './types.js';
+
+/** What the request's headers tell. */
+export interface RequestIdentity {
+  readonly requestId: string;
+  readonly className: string | undefined;
+}
+
+/**
+ * Builds the submission of a chat completions request.
+ *
+ * @param sequence - id of the generation
+ * @param body - checked body
+ * @param identity - request id and class
+ * @param settings - seed and output lengths
+ * @returns the submission
+ */
+export const buildSubmission = (
+  sequence: string,
+  body: ChatBody,
+  identity: RequestIdentity,
+  settings: EngineSettings,
+): Submission => {
+  const prompt = buildPrompt(body.messages);
+  const given = body.metadata?.target_tokens;
+  const wanted =
+    given === undefined
+      ? computeOutputTokens(prompt, settings.seed, settings.meanOutputTokens)
+      : Math.max(1, Number(given));
+  const limit = body.max_completion_tokens ?? body.max_tokens ?? settings.maxOutputTokens;
+  return {
+    sequence,
+    requestId: identity.requestId,
+    priority: body.priority ?? 0,
+    promptTokens: countPromptTokens(prompt),
+    targetTokens: Math.min(wanted, limit),
+    finishReason: wanted > limit ? 'length' : 'stop',
+    prefix: hashPromptPrefix(prompt),
+    content: prompt,
+    route: body.metadata?.route,
+    className: identity.className ?? body.metadata?.class,
+  };
+};
