Add the ledger stand-in, a plain service that runs every call it gets

The daemons must keep non-repeatable calls to one execution by themselves, so the stand-in counts executions per key and never deduplicates. Faults act before or after the effect.

--- /dev/null
+++ b/packages/standins/ledger/book/bookChild.ts
@@ -0,0 +1,162 @@
+import { createHash } from 'node:crypto';
+import type { Executions } from './executions.js';
+import type { Answer, ReplyId } from '../../common/exchange.js';
+import type { CallFault, LedgerCall, LedgerEffect, LedgerEvent, LedgerFault } from '../types.js';
+import { assertNever } from '../../../core/assertNever.js';
+import type { Millis } from '../../../core/clock.js';
+import type { Step } from '../../../core/step.js';
+import { toStep } from '../../../core/step.js';
+import type { ChildLogic } from '../../../core/supervision/types.js';
+
+/** State of the service process; the executions outlive it. */
+export interface BookState {
+  readonly startId: string;
+  readonly faults: readonly CallFault[];
+  readonly calls: number;
+}
+
+/** What the book takes from outside its state. */
+export interface BookEnvironment {
+  readonly executions: Executions;
+  readonly callMs: Millis;
+  readonly createStartId: () => string;
+}
+
+type BookStep = Step<BookState, LedgerEffect>;
+
+/** Largest balance of an account in cents. */
+const BALANCE_BOUND = 100_000_000;
+
+/** Takes one call from each fault and drops the faults that are used up. */
+const takeFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
+  faults.map((fault) => ({ ...fault, calls: fault.calls - 1 })).filter(({ calls }) => calls > 0);
+
+const computeDelay = (faults: readonly CallFault[], kind: 'delay-before' | 'delay-after'): Millis =>
+  faults.reduce((sum, fault) => (fault.kind === kind ? sum + fault.delayMs : sum), 0);
+
+const hasFault = (faults: readonly CallFault[], kind: CallFault['kind']): boolean =>
+  faults.some((fault) => fault.kind === kind);
+
+/**
+ * Computes the balance of an account, which never changes.
+ *
+ * @param account - name of the account
+ * @returns cents
+ */
+export const computeBalance = (account: string): number =>
+  createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_BOUND;
+
+const performCall = (call: LedgerCall, executions: Executions): Answer => {
+  switch (call.kind) {
+    case 'balance':
+      return {
+        status: 200,
+        body: { account: call.account, balance: computeBalance(call.account) },
+      };
+    case 'execute':
+      return { status: 201, body: executions.add(call.route, call.key, call.amount) };
+    default:
+      return assertNever(call);
+  }
+};
+
+const handleCall = (
+  state: BookState,
+  reply: ReplyId,
+  call: LedgerCall,
+  environment: BookEnvironment,
+): BookStep => {
+  const { faults, startId } = state;
+  const next = { ...state, faults: takeFaults(faults), calls: state.calls + 1 };
+  if (hasFault(faults, 'fail-before')) {
+    const answer = { status: 500, body: { error: 'failed before any effect' } };
+    return toStep<BookState, LedgerEffect>(next, { kind: 'answer', reply, answer });
+  }
+  return toStep<BookState, LedgerEffect>(next, {
+    kind: 'schedule',
+    delayMs: environment.callMs + computeDelay(faults, 'delay-before'),
+    event: { to: 'book', kind: 'execute-due', reply, call, startId, faults },
+  });
+};
+
+const handleExecuteDue = (
+  state: BookState,
+  event: Extract<LedgerEvent, { kind: 'execute-due' }>,
+  environment: BookEnvironment,
+): BookStep => {
+  const { reply, faults } = event;
+  if (event.startId !== state.startId) return toStep(state, { kind: 'drop', reply });
+  const answer = performCall(event.call, environment.executions);
+  if (hasFault(faults, 'drop-answer')) return toStep(state, { kind: 'drop', reply });
+  const delayMs = computeDelay(faults, 'delay-after');
+  if (delayMs === 0) return toStep(state, { kind: 'answer', reply, answer });
+  return toStep<BookState, LedgerEffect>(state, {
+    kind: 'schedule',
+    delayMs,
+    event: { to: 'book', kind: 'answer-due', reply, answer },
+  });
+};
+
+const applyFault = (
+  state: BookState,
+  fault: LedgerFault,
+  environment: BookEnvironment,
+): BookStep => {
+  switch (fault.kind) {
+    case 'crash': {
+      const restarted = { ...state, startId: environment.createStartId() };
+      return toStep<BookState, LedgerEffect>(restarted, { kind: 'crash', downMs: fault.downMs });
+    }
+    case 'freeze':
+      return toStep(state, { kind: 'freeze', forMs: fault.forMs });
+    case 'clear':
+      return toStep({ ...state, faults: [] });
+    case 'delay-before':
+    case 'delay-after':
+    case 'drop-answer':
+    case 'fail-before':
+      return toStep({ ...state, faults: [...state.faults, fault] });
+    default:
+      return assertNever(fault);
+  }
+};
+
+/**
+ * Decides one event of the service.
+ *
+ * @param state - service before the event
+ * @param event - call, timer or fault
+ * @param environment - executions, usual time of a call and start identities
+ * @returns the next state and the answers
+ */
+export const decideBook = (
+  state: BookState,
+  event: LedgerEvent,
+  environment: BookEnvironment,
+): BookStep => {
+  switch (event.kind) {
+    case 'call':
+      return handleCall(state, event.reply, event.call, environment);
+    case 'execute-due':
+      return handleExecuteDue(state, event, environment);
+    case 'answer-due':
+      return toStep(state, { kind: 'answer', reply: event.reply, answer: event.answer });
+    case 'apply-fault':
+      return applyFault(state, event.fault, environment);
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the child that runs the calls of the service.
+ *
+ * @param environment - executions, usual time of a call and start identities
+ * @returns the decisions of the child
+ */
+export const createBookChild = (
+  environment: BookEnvironment,
+): ChildLogic<BookState, LedgerEvent, LedgerEffect> => ({
+  init: () => toStep({ startId: environment.createStartId(), faults: [], calls: 0 }),
+  decide: (state, event) => decideBook(state, event, environment),
+});
--- /dev/null
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -0,0 +1,161 @@
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import type { BookState } from './book/bookChild.js';
+import { createExecutions } from './book/executions.js';
+import type { Executions } from './book/executions.js';
+import { EXECUTIONS_SCHEMA, EXECUTION_SCHEMA, LEDGER_FAULT_SCHEMA } from './schemas.js';
+import { startLedgerSupervisor } from './supervisor.js';
+import type {
+  ExecutionRoute,
+  LedgerCall,
+  LedgerEffect,
+  LedgerEvent,
+  LedgerOptions,
+  LedgerStandin,
+} from './types.js';
+import { createExchange } from '../common/exchange.js';
+import type { Exchange } from '../common/exchange.js';
+import { createListener } from '../common/listener.js';
+import type { Listener } from '../common/listener.js';
+import { assertNever } from '../../core/assertNever.js';
+import { createSystemClock } from '../../core/clock.js';
+import { createId } from '../../core/ids.js';
+import type { Loop } from '../../core/loop/types.js';
+import { createDaemon } from '../../core/supervision/daemon.js';
+
+type Post = (event: LedgerEvent) => void;
+
+const DEFAULT_CALL_MS = 2;
+
+const EXECUTION_ROUTES: readonly ExecutionRoute[] = ['sweeps', 'pickups', 'credits'];
+
+const performEffect = (
+  effect: LedgerEffect,
+  exchange: Exchange,
+  listener: Listener,
+  loop: Loop<LedgerEvent>,
+): void => {
+  switch (effect.kind) {
+    case 'answer':
+      exchange.answer(effect.reply, effect.answer);
+      return;
+    case 'drop':
+      exchange.drop(effect.reply);
+      return;
+    case 'schedule':
+      loop.schedule(effect.delayMs, effect.event);
+      return;
+    case 'crash':
+      listener.crash(effect.downMs);
+      return;
+    case 'freeze':
+      listener.freeze(effect.forMs);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
+
+const readExecution = (request: FastifyRequest, route: ExecutionRoute): LedgerCall => {
+  const body = EXECUTION_SCHEMA.parse(request.body);
+  const header = request.headers['idempotency-key'];
+  const key = typeof header === 'string' ? header : (body.key ?? '');
+  return { kind: 'execute', route, key, amount: body.amount };
+};
+
+const registerServiceRoutes = (
+  app: FastifyInstance,
+  exchange: Exchange,
+  post: Post,
+  getBook: () => BookState,
+): void => {
+  app.get<{ Params: { account: string } }>('/balances/:account', async (request, reply) =>
+    exchange.handle(request, reply, (id) => {
+      const { account } = request.params;
+      post({ to: 'book', kind: 'call', reply: id, call: { kind: 'balance', account } });
+    }),
+  );
+  for (const route of EXECUTION_ROUTES) {
+    app.post(`/${route}`, async (request, reply) => {
+      const call = readExecution(request, route);
+      return exchange.handle(request, reply, (id) => {
+        post({ to: 'book', kind: 'call', reply: id, call });
+      });
+    });
+  }
+  app.get('/health', async () => ({ status: 'ready', startId: getBook().startId }));
+};
+
+const registerInspectionRoutes = (
+  app: FastifyInstance,
+  executions: Executions,
+  post: Post,
+  getBook: () => BookState,
+): void => {
+  app.get('/executions', async (request) => {
+    const { key } = EXECUTIONS_SCHEMA.parse(request.query);
+    return key === undefined ? executions.list() : { key, count: executions.count(key) };
+  });
+  app.post('/faults', async (request) => {
+    const fault = LEDGER_FAULT_SCHEMA.parse(request.body);
+    post({ to: 'book', kind: 'apply-fault', fault });
+    return fault;
+  });
+  app.get('/standin/stats', async () => ({ ...getBook(), executions: executions.list().total }));
+};
+
+/**
+ * Starts the stand-in of a plain service. It does not deduplicate: each call that reaches it runs.
+ *
+ * @param options - ports and usual time of a call
+ * @returns the running stand-in
+ */
+export const startLedgerStandin = async (options: LedgerOptions = {}): Promise<LedgerStandin> => {
+  const exchange = createExchange();
+  const executions = createExecutions();
+  const service = createListener();
+  const inspection = createListener();
+  let book: BookState | undefined;
+  const raise = (error: unknown): never => {
+    throw error;
+  };
+  const getBook = (): BookState => book ?? raise(new Error('not started'));
+  const environment = {
+    executions,
+    callMs: options.callMs ?? DEFAULT_CALL_MS,
+    createStartId: createId,
+  };
+  const daemon = createDaemon<LedgerEvent, LedgerEffect>({
+    classify: () => 'control',
+    startRoot: () =>
+      startLedgerSupervisor(
+        environment,
+        createSystemClock(),
+        (state) => {
+          book = state;
+        },
+        ({ error }) => raise(error),
+      ),
+    perform: (effect) => {
+      performEffect(effect, exchange, service, daemon.loop);
+    },
+    onFault: raise,
+  });
+  const post: Post = (event) => {
+    daemon.loop.post(event);
+  };
+  registerServiceRoutes(service.app, exchange, post, getBook);
+  registerInspectionRoutes(inspection.app, executions, post, getBook);
+  daemon.start();
+  await Promise.all([
+    service.open(options.port ?? 0),
+    inspection.open(options.inspectionPort ?? 0),
+  ]);
+  return {
+    url: service.getUrl(),
+    inspectionUrl: inspection.getUrl(),
+    close: async () => {
+      daemon.stop();
+      await Promise.all([service.close(), inspection.close()]);
+    },
+  };
+};
