Sample endpoints before testing them

Change: sample first, test slots lazily, compute the request's own forecast once per version, reuse scratch sums. Hazards are now shares of a bucket's entrants, since token rates kept 18% alive past a bucket in which every length ended.

--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -1,6 +1,6 @@
-import { TESTS_PER_CHOICE } from './constants.js';
-import { countRequests, listServing, listWithSlot } from './eligible.js';
-import { checkEndpoint } from './headroom.js';
+import { PREFIX_FRESHNESS_MS, TESTS_PER_CHOICE } from './constants.js';
+import { countRequests, hasSlot, listServing } from './eligible.js';
+import { buildInputs, checkEndpoint } from './headroom.js';
 import type { HeadroomInputs, TestedEndpoint } from './headroom.js';
 import type {
   EndpointView,
@@ -43,88 +43,117 @@
   candidates,
 });
 
+const buildWait = (
+  request: PlacementRequest,
+  reason: 'at-limit' | 'memory-full',
+): PlacementDecision => ({
+  kind: 'wait',
+  reason: request.pinned === undefined ? reason : 'pinned-endpoint-busy',
+});
+
 /** Walks from the turn's place in the whole list, so that a full endpoint does not shift the rest. */
 const chooseInTurn = (
   request: PlacementRequest,
   serving: readonly EndpointView[],
-  open: readonly EndpointView[],
   own: OwnView,
 ): PlacementDecision => {
-  const withSlot = new Set(open);
   const first = own.getTurn() % serving.length;
-  const inTurn = [...serving.slice(first), ...serving.slice(0, first)];
-  const view = inTurn.find((endpoint) => withSlot.has(endpoint)) as EndpointView;
-  return buildPlaced(request, view, 'next-in-turn', [
-    buildBaselineCandidate(view, countRequests(view, own)),
-  ]);
+  for (let step = 0; step < serving.length; step += 1) {
+    const view = serving[(first + step) % serving.length] as EndpointView;
+    const requests = countRequests(view, own);
+    if (!hasSlot(request, view, requests)) continue;
+    return buildPlaced(request, view, 'next-in-turn', [buildBaselineCandidate(view, requests)]);
+  }
+  return buildWait(request, 'at-limit');
 };
 
 const chooseFewestRequests = (
   request: PlacementRequest,
-  open: readonly EndpointView[],
+  serving: readonly EndpointView[],
   own: OwnView,
   random: RandomSource,
 ): PlacementDecision => {
-  const counts = open.map((endpoint) => countRequests(endpoint, own));
-  const fewest = counts.reduce((least, count) => Math.min(least, count), Infinity);
-  const tied = open.filter((_, index) => counts[index] === fewest);
+  let fewest = Infinity;
+  let tied: EndpointView[] = [];
+  for (const view of serving) {
+    const requests = countRequests(view, own);
+    if (requests > fewest || !hasSlot(request, view, requests)) continue;
+    if (requests < fewest) tied = [];
+    fewest = requests;
+    tied.push(view);
+  }
   // Ties are broken by chance, so that entry daemons with the same view do not herd.
-  const view = tied[Math.floor(random.next() * tied.length)] as EndpointView;
+  const view = tied[Math.floor(random.next() * tied.length)];
+  if (view === undefined) return buildWait(request, 'at-limit');
   return buildPlaced(request, view, 'fewest-requests', [buildBaselineCandidate(view, fewest)]);
 };
 
+/** Starts at a random place, so that several holders share the requests of one prefix. */
 const findPrefixHolder = (
   request: PlacementRequest,
-  open: readonly EndpointView[],
+  serving: readonly EndpointView[],
+  random: RandomSource,
 ): EndpointView | undefined => {
   const { prefix } = request;
   if (prefix === undefined) return undefined;
-  return open
-    .filter((endpoint) => endpoint.prefixes.has(prefix))
-    .reduce<EndpointView | undefined>(
-      (best, endpoint) =>
-        best === undefined || endpoint.prefixAgeMs < best.prefixAgeMs ? endpoint : best,
-      undefined,
-    );
+  const first = Math.floor(random.next() * serving.length);
+  let best: EndpointView | undefined;
+  for (let step = 0; step < serving.length; step += 1) {
+    const view = serving[(first + step) % serving.length] as EndpointView;
+    if (best !== undefined && view.prefixAgeMs >= best.prefixAgeMs) continue;
+    if (!view.prefixes.has(prefix)) continue;
+    best = view;
+    if (view.prefixAgeMs < PREFIX_FRESHNESS_MS / 2) break;
+  }
+  return best;
 };
 
-/** Tests endpoints in random order until enough of them fit; a holder of the prefix goes first. */
+/**
+ * Tests endpoints in random order until enough of them fit; the holder of the prefix goes first.
+ * Endpoints without a free slot cost no test. The list is this decision's own and is shuffled in
+ * place.
+ */
 const collectTested = (
   inputs: HeadroomInputs,
-  open: readonly EndpointView[],
+  serving: EndpointView[],
   random: RandomSource,
 ): readonly TestedEndpoint[] => {
-  const holder = findPrefixHolder(inputs.request, open);
-  const tested = holder === undefined ? [] : [checkEndpoint(inputs, holder)];
-  const order = [...open];
-  const bound = Math.min(order.length, inputs.policy.choices * TESTS_PER_CHOICE);
-  let fitting = tested.filter((test) => test.room === 'fits').length;
-  for (let index = 0; index < bound && fitting < inputs.policy.choices; index += 1) {
-    const pick = index + Math.floor(random.next() * (order.length - index));
-    const view = order[pick] as EndpointView;
-    order[pick] = order[index] as EndpointView;
-    if (view === holder) continue;
-    const test = checkEndpoint(inputs, view);
+  const { request, policy, own } = inputs;
+  const tested: TestedEndpoint[] = [];
+  let fitting = 0;
+  const checkNext = (view: EndpointView): void => {
+    const requests = countRequests(view, own);
+    if (!hasSlot(request, view, requests)) return;
+    const test = checkEndpoint(inputs, view, requests);
     tested.push(test);
     if (test.room === 'fits') fitting += 1;
+  };
+  const holder = findPrefixHolder(request, serving, random);
+  if (holder !== undefined) checkNext(holder);
+  const bound = policy.choices * TESTS_PER_CHOICE;
+  for (let index = 0; index < serving.length; index += 1) {
+    if (fitting >= policy.choices || tested.length >= bound) break;
+    const pick = index + Math.floor(random.next() * (serving.length - index));
+    const view = serving[pick] as EndpointView;
+    serving[pick] = serving[index] as EndpointView;
+    if (view !== holder) checkNext(view);
   }
   return tested;
 };
 
 const chooseMostHeadroom = (
   inputs: HeadroomInputs,
-  open: readonly EndpointView[],
+  serving: EndpointView[],
   random: RandomSource,
 ): PlacementDecision => {
   const { request } = inputs;
-  const tested = collectTested(inputs, open, random);
-  const best = tested
-    .filter((test) => test.room === 'fits')
-    .reduce<TestedEndpoint | undefined>(
-      (leader, test) =>
-        leader === undefined || test.candidate.score > leader.candidate.score ? test : leader,
-      undefined,
-    );
+  const tested = collectTested(inputs, serving, random);
+  if (tested.length === 0) return buildWait(request, 'at-limit');
+  let best: TestedEndpoint | undefined;
+  for (const test of tested) {
+    if (test.room === 'too-full') continue;
+    if (best === undefined || test.candidate.score > best.candidate.score) best = test;
+  }
   if (best === undefined) return buildWait(request, 'memory-full');
   const reason = request.targets.answerLength === 'short' ? 'shortest-wait' : 'most-headroom';
   return buildPlaced(
@@ -136,14 +165,6 @@
   );
 };
 
-const buildWait = (
-  request: PlacementRequest,
-  reason: 'at-limit' | 'memory-full',
-): PlacementDecision => ({
-  kind: 'wait',
-  reason: request.pinned === undefined ? reason : 'pinned-endpoint-busy',
-});
-
 const buildRefusal = (request: PlacementRequest): PlacementDecision => ({
   kind: 'refuse',
   failure:
@@ -173,15 +194,13 @@
 ): PlacementDecision => {
   const serving = listServing(request, endpoints);
   if (serving.length === 0) return buildRefusal(request);
-  const open = listWithSlot(request, serving, own);
-  if (open.length === 0) return buildWait(request, 'at-limit');
   switch (policy.kind) {
     case 'round-robin':
-      return chooseInTurn(request, serving, open, own);
+      return chooseInTurn(request, serving, own);
     case 'least-requests':
-      return chooseFewestRequests(request, open, own, random);
+      return chooseFewestRequests(request, serving, own, random);
     case 'predicted-headroom':
-      return chooseMostHeadroom({ policy, request, own, survival }, open, random);
+      return chooseMostHeadroom(buildInputs(policy, request, own, survival), serving, random);
     default:
       return assertNever(policy);
   }
--- a/packages/decisions/placement/eligible.ts
+++ b/packages/decisions/placement/eligible.ts
@@ -79,33 +79,33 @@
  *
  * @param request - what is to be placed
  * @param endpoints - all known endpoints
- * @returns the endpoints, in the given order
+ * @returns a new list of the endpoints, in the given order
  */
 export const listServing = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-): readonly EndpointView[] =>
-  endpoints.filter(
-    (endpoint) =>
-      isOpenPhase(endpoint.phase) &&
-      isServing(endpoint, request.target) &&
-      !request.excluded.has(endpoint.endpoint) &&
-      (request.pinned === undefined || request.pinned === endpoint.endpoint),
-  );
+): EndpointView[] => {
+  const serving: EndpointView[] = [];
+  for (const endpoint of endpoints) {
+    if (!isServing(endpoint, request.target)) continue;
+    if (!isOpenPhase(endpoint.phase)) continue;
+    if (request.pinned !== undefined && request.pinned !== endpoint.endpoint) continue;
+    if (request.excluded.size > 0 && request.excluded.has(endpoint.endpoint)) continue;
+    serving.push(endpoint);
+  }
+  return serving;
+};
 
 /**
- * Lists the endpoints whose limit leaves a slot for a request.
+ * Tells whether an endpoint's limit leaves a slot for a request.
  *
  * @param request - what is to be placed
- * @param serving - endpoints that serve its target
- * @param own - this daemon's placements
- * @returns the endpoints with a free slot
+ * @param endpoint - endpoint that serves its target
+ * @param requests - requests there now
+ * @returns true when the request may be placed as far as the limit goes
  */
-export const listWithSlot = (
+export const hasSlot = (
   request: PlacementRequest,
-  serving: readonly EndpointView[],
-  own: OwnView,
-): readonly EndpointView[] =>
-  serving.filter(
-    (endpoint) => countRequests(endpoint, own) < computeClassLimit(endpoint.limit, request.targets),
-  );
+  endpoint: EndpointView,
+  requests: number,
+): boolean => requests < computeClassLimit(endpoint.limit, request.targets);
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -1,4 +1,3 @@
-import { countRequests } from './eligible.js';
 import {
   CRITICAL_RESERVE_SHARE,
   DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
@@ -17,9 +16,11 @@
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
+import type { VersionName } from '../../core/ids.js';
 import {
   applyNewSequence,
   applyUnknownSequences,
+  clearMemoryChange,
   createMemoryChange,
   estimateMemory,
   mergeMemoryChange,
@@ -44,8 +45,35 @@
   readonly request: PlacementRequest;
   readonly own: OwnView;
   readonly survival: SurvivalView;
+  /** Predicted change by the request itself, per version of an endpoint. */
+  readonly requestChanges: Map<VersionName, MemoryChange>;
+  /** Reused for every endpoint, since a decision must not allocate per candidate. */
+  readonly scratch: MemoryChange;
 }
 
+/**
+ * Prepares the inputs of one decision.
+ *
+ * @param policy - horizon, bounds and weights
+ * @param request - what is to be placed
+ * @param own - this daemon's placements
+ * @param survival - length estimates
+ * @returns the inputs, used for this decision only
+ */
+export const buildInputs = (
+  policy: HeadroomPolicy,
+  request: PlacementRequest,
+  own: OwnView,
+  survival: SurvivalView,
+): HeadroomInputs => ({
+  policy,
+  request,
+  own,
+  survival,
+  requestChanges: new Map(),
+  scratch: createMemoryChange(),
+});
+
 const computeHorizonTokens = (endpoint: EndpointView, horizonMs: Millis): number => {
   const perSequence =
     endpoint.running > 0 && endpoint.tokensPerSecond > 0
@@ -66,34 +94,41 @@
   }
 };
 
+/** The request's own change depends on the endpoint's version alone, so it is computed once. */
+const getRequestChange = (inputs: HeadroomInputs, version: VersionName): MemoryChange => {
+  const known = inputs.requestChanges.get(version);
+  if (known !== undefined) return known;
+  const { targets, customer, promptTokens } = inputs.request;
+  const curve = inputs.survival.getCurve({ className: targets.className, customer, version });
+  const change = createMemoryChange();
+  applyNewSequence(change, curve, promptTokens);
+  inputs.requestChanges.set(version, change);
+  return change;
+};
+
 const estimateEndpointMemory = (
   inputs: HeadroomInputs,
   endpoint: EndpointView,
 ): MemoryPrediction => {
-  const { request, survival } = inputs;
+  const { request, survival, scratch } = inputs;
   const load = inputs.own.getLoad(endpoint.endpoint);
   const growth =
     (endpoint.tokensPerSecond * Math.min(endpoint.loadAgeMs, MAX_EXTRAPOLATION_MS)) / 1_000;
   const kept = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
-  const change: MemoryChange = createMemoryChange();
-  if (load !== undefined) mergeMemoryChange(change, load.change);
+  clearMemoryChange(scratch);
+  mergeMemoryChange(scratch, getRequestChange(inputs, endpoint.version ?? ''));
+  if (load !== undefined) mergeMemoryChange(scratch, load.change);
   const unknown = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
   if (unknown > 0) {
     const tokens = Math.max(0, kept - (load?.includedTokens ?? 0));
-    applyUnknownSequences(change, survival, unknown, tokens / unknown);
+    applyUnknownSequences(scratch, survival, unknown, tokens / unknown);
   }
-  const key = {
-    className: request.targets.className,
-    customer: request.customer,
-    version: endpoint.version ?? '',
-  };
-  applyNewSequence(change, survival.getCurve(key), request.promptTokens);
   const budget: MemoryBudget = {
     used: kept + growth + (load?.newTokens ?? 0),
     total: computeMemoryTotal(endpoint.memoryTotalTokens, request.targets),
     horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
   };
-  return estimateMemory(budget, change);
+  return estimateMemory(budget, scratch);
 };
 
 const computePrefixWorth = (inputs: HeadroomInputs, endpoint: EndpointView): number => {
@@ -127,10 +162,14 @@
  *
  * @param inputs - request, policy and estimates
  * @param endpoint - endpoint with a free slot
+ * @param requests - requests there now
  * @returns the candidate with its score
  */
-export const checkEndpoint = (inputs: HeadroomInputs, endpoint: EndpointView): TestedEndpoint => {
-  const requests = countRequests(endpoint, inputs.own);
+export const checkEndpoint = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+  requests: number,
+): TestedEndpoint => {
   const memory: MemoryPrediction =
     endpoint.memoryTotalTokens > 0
       ? estimateEndpointMemory(inputs, endpoint)
--- a/packages/decisions/survival/constants.ts
+++ b/packages/decisions/survival/constants.ts
@@ -27,7 +27,11 @@
 
 /**
  * Prior hazard per token is `PRIOR_SHAPE / (tokens + PRIOR_SCALE_TOKENS)`, a heavy tail with a mean
- * near 400 tokens: without evidence a long answer must be expected.
+ * near 400 tokens: without evidence a long answer must be expected. A shape of 1.6 made the mean of
+ * censored samples 40% too long.
  */
-export const PRIOR_SHAPE = 1.6;
-export const PRIOR_SCALE_TOKENS = 240;
+export const PRIOR_SHAPE = 2;
+export const PRIOR_SCALE_TOKENS = 400;
+
+/** Largest hazard of a bucket, so that its rate per token stays finite. */
+export const MAX_HAZARD = 1 - 1e-9;
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -35,6 +35,12 @@
   variance: new Float64Array(FORECAST_STEPS_TOKENS.length),
 });
 
+/** Resets a change to zero, in place. */
+export const clearMemoryChange = (change: MemoryChange): void => {
+  change.mean.fill(0);
+  change.variance.fill(0);
+};
+
 const applyOutcome = (
   change: MemoryChange,
   step: number,
--- a/packages/decisions/survival/hazard.ts
+++ b/packages/decisions/survival/hazard.ts
@@ -1,18 +1,21 @@
 import { BUCKET_COUNT, BUCKET_STARTS, BUCKET_WIDTHS, findBucket } from './buckets.js';
-import { MAX_TOKENS, PRIOR_SCALE_TOKENS, PRIOR_SHAPE } from './constants.js';
+import { MAX_HAZARD, MAX_TOKENS, PRIOR_SCALE_TOKENS, PRIOR_SHAPE } from './constants.js';
 import type { HazardCurve, RemainingEstimate } from './types.js';
 
+/** How a generation was seen to end. */
+export type ObservedEnd = 'finished' | 'censored';
+
 /** Counts from which a hazard is estimated; they decay, so they are no whole numbers. */
 export interface HazardCounts {
   readonly ends: Float64Array;
-  /** Tokens generated within each bucket. */
-  readonly exposure: Float64Array;
+  /** Generations that entered each bucket; one that was cut inside counts as the share it saw. */
+  readonly entered: Float64Array;
 }
 
 /** Creates counts without observations. */
 export const createHazardCounts = (): HazardCounts => ({
   ends: new Float64Array(BUCKET_COUNT),
-  exposure: new Float64Array(BUCKET_COUNT),
+  entered: new Float64Array(BUCKET_COUNT),
 });
 
 /**
@@ -39,8 +42,19 @@
 );
 
 /**
- * Estimates a curve from counts, shrunk towards a parent: the parent's rate stands for
- * `strength` generations that passed through each bucket.
+ * Computes the probability that a generation that entered a bucket ends in it.
+ *
+ * @param curve - hazard
+ * @param bucket - index of the bucket
+ * @returns probability in [0, 1]
+ */
+export const computeBucketHazard = (curve: HazardCurve, bucket: number): number =>
+  1 - Math.exp(-(curve.rates[bucket] ?? 0) * (BUCKET_WIDTHS[bucket] ?? 0));
+
+/**
+ * Estimates a curve from counts, shrunk towards a parent: the parent's hazard stands
+ * for `strength` generations that entered each bucket. Hazards are estimated as the share that ends
+ * in a bucket, since a rate from token counts is too low where lengths pile up within one bucket.
  *
  * @param counts - observations
  * @param parent - curve to shrink to
@@ -54,10 +68,10 @@
 ): HazardCurve => {
   const rates = new Float64Array(BUCKET_COUNT);
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
-    const pseudo = strength * (BUCKET_WIDTHS[bucket] ?? 0);
-    rates[bucket] =
-      ((counts.ends[bucket] ?? 0) + (parent.rates[bucket] ?? 0) * pseudo) /
-      ((counts.exposure[bucket] ?? 0) + pseudo);
+    const hazard =
+      ((counts.ends[bucket] ?? 0) + strength * computeBucketHazard(parent, bucket)) /
+      ((counts.entered[bucket] ?? 0) + strength);
+    rates[bucket] = -Math.log(1 - Math.min(hazard, MAX_HAZARD)) / (BUCKET_WIDTHS[bucket] ?? 1);
   }
   return buildCurve(rates);
 };
@@ -67,24 +81,23 @@
  *
  * @param counts - updated in place
  * @param tokens - length seen
- * @param ended - 1 for a finished generation, 0 for a censored one
+ * @param end - whether the generation finished or was cut
  * @param decay - factor on the older observations
  */
 export const applyObservation = (
   counts: HazardCounts,
   tokens: number,
-  ended: 0 | 1,
+  end: ObservedEnd,
   decay: number,
 ): void => {
   const length = Math.min(Math.max(tokens, 0), MAX_TOKENS);
   const last = findBucket(length);
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
-    const seen = Math.min(
-      Math.max(0, length - (BUCKET_STARTS[bucket] ?? 0)),
-      BUCKET_WIDTHS[bucket] ?? 0,
-    );
-    counts.ends[bucket] = (counts.ends[bucket] ?? 0) * decay + (bucket === last ? ended : 0);
-    counts.exposure[bucket] = (counts.exposure[bucket] ?? 0) * decay + seen;
+    const inside = (length - (BUCKET_STARTS[bucket] ?? 0)) / (BUCKET_WIDTHS[bucket] ?? 1);
+    const seen = Math.min(Math.max(inside, 0), 1);
+    const isEnd = bucket === last && end === 'finished';
+    counts.ends[bucket] = (counts.ends[bucket] ?? 0) * decay + (isEnd ? 1 : 0);
+    counts.entered[bucket] = (counts.entered[bucket] ?? 0) * decay + (isEnd ? 1 : seen);
   }
 };
 
@@ -108,16 +121,6 @@
   return Math.exp(passed - computeCumulative(curve, generated + tokens));
 };
 
-/**
- * Computes the probability that a generation that entered a bucket ends in it.
- *
- * @param curve - hazard
- * @param bucket - index of the bucket
- * @returns probability in [0, 1]
- */
-export const computeBucketHazard = (curve: HazardCurve, bucket: number): number =>
-  1 - Math.exp(-(curve.rates[bucket] ?? 0) * (BUCKET_WIDTHS[bucket] ?? 0));
-
 /** First and second moment of the part of a lifetime that lies in one bucket. */
 const computeMoments = (rate: number, width: number, offset: number) => {
   if (rate * width < 1e-6) {
--- a/packages/decisions/survival/survivalTable.ts
+++ b/packages/decisions/survival/survivalTable.ts
@@ -14,7 +14,7 @@
   estimateRemainingOf,
   PRIOR_CURVE,
 } from './hazard.js';
-import type { HazardCounts } from './hazard.js';
+import type { HazardCounts, ObservedEnd } from './hazard.js';
 import type { HazardCurve, SurvivalKey, SurvivalView } from './types.js';
 
 /** Bounds of a table. */
@@ -55,8 +55,8 @@
   return node.curve;
 };
 
-const updateNode = (node: Node, tokens: number, ended: 0 | 1, memory: number): void => {
-  applyObservation(node.counts, tokens, ended, 1 - 1 / memory);
+const updateNode = (node: Node, tokens: number, end: ObservedEnd, memory: number): void => {
+  applyObservation(node.counts, tokens, end, 1 - 1 / memory);
   node.curve = undefined;
 };
 
@@ -72,8 +72,9 @@
   return node;
 };
 
+/** Joins with a control character that names cannot contain; JSON took most of a decision's time. */
 const formatKey = (key: SurvivalKey): string =>
-  JSON.stringify([key.className, key.customer, key.version]);
+  `${key.className}\u0000${key.customer}\u0000${key.version}`;
 
 /**
  * Creates a table of length estimates. A key shrinks to its class, and a class to the prior.
@@ -97,11 +98,11 @@
     return node === undefined ? classCurve : getNodeCurve(node, classCurve, SHRINKAGE_TO_CLASS);
   };
 
-  const observe = (key: SurvivalKey, tokens: number, ended: 0 | 1): void => {
+  const observe = (key: SurvivalKey, tokens: number, end: ObservedEnd): void => {
     const classNode = selectNode(classes, key.className, maxClasses);
-    updateNode(classNode, tokens, ended, CLASS_MEMORY_OBSERVATIONS);
-    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, ended, KEY_MEMORY_OBSERVATIONS);
-    updateNode(all, tokens, ended, CLASS_MEMORY_OBSERVATIONS);
+    updateNode(classNode, tokens, end, CLASS_MEMORY_OBSERVATIONS);
+    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, end, KEY_MEMORY_OBSERVATIONS);
+    updateNode(all, tokens, end, CLASS_MEMORY_OBSERVATIONS);
     unknownSurvival.clear();
   };
 
@@ -109,10 +110,10 @@
     getCurve,
     countKeys: () => keys.size,
     observeFinished: (key, tokens) => {
-      observe(key, tokens, 1);
+      observe(key, tokens, 'finished');
     },
     observeCensored: (key, tokens) => {
-      observe(key, tokens, 0);
+      observe(key, tokens, 'censored');
     },
     estimateRemaining: (key, generated) => estimateRemainingOf(getCurve(key), generated),
     estimateUnknownSurvival: (tokens) => {
