Limit admission at the endpoint by evidence, identity and predicted memory

The limit starts at 2 sequences, grows by a quarter after 256 tokens per sequence with token gaps near the baseline and free memory, falls by a factor at collapse signs and to the start value when the engine's identity changes or a gap shows a cold cache. At most 2 admissions follow without a new look at the identity, so that a silent restart meets no burst.

--- /dev/null
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -0,0 +1,122 @@
+import { DEFAULT_GAP_MS, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS } from './constants.js';
+import { countUnconfirmed, getLimit } from './decideLimit.js';
+import type {
+  AdmissionContext,
+  AdmissionRequest,
+  AdmissionState,
+  AdmitDecision,
+  RunningSequence,
+} from './types.js';
+import type { Millis } from '../../core/clock.js';
+import { createFailure } from '../../core/verdict.js';
+import { computeClassLimit, computeClassMemory } from '../placement/eligible.js';
+import {
+  applyNewSequence,
+  applySequence,
+  createMemoryChange,
+  estimateMemory,
+} from '../survival/forecast.js';
+import type { SurvivalKey, SurvivalView } from '../survival/types.js';
+
+const toKey = (request: AdmissionRequest): SurvivalKey => ({
+  className: request.targets.className,
+  customer: request.customer,
+  version: request.version,
+});
+
+const getSize = (sequence: RunningSequence): number => sequence.promptTokens + sequence.generated;
+
+/** Memory that the load page does not count yet: prompts of sequences since it was read. */
+const countNewTokens = (state: AdmissionState): number => {
+  let tokens = 0;
+  for (const sequence of state.running.values()) {
+    if (sequence.engine === 'unconfirmed') tokens += getSize(sequence);
+  }
+  return tokens;
+};
+
+/**
+ * Estimates the probability that the engine's memory overflows when a request is admitted.
+ *
+ * @param state - running sequences and memory
+ * @param request - request under decision
+ * @param context - horizon and length estimates
+ * @returns probability in [0, 1]; 0 for plain services
+ */
+export const estimateOverflow = (
+  state: AdmissionState,
+  request: AdmissionRequest,
+  context: AdmissionContext,
+): number => {
+  const { totalTokens, usedTokens, tokensPerSecond } = state.memory;
+  if (totalTokens === 0) return 0;
+  const change = createMemoryChange();
+  for (const sequence of state.running.values()) {
+    const curve = context.survival.getCurve(toKey(sequence));
+    applySequence(change, curve, sequence.generated, getSize(sequence));
+  }
+  applyNewSequence(change, context.survival.getCurve(toKey(request)), request.promptTokens);
+  const perSequence =
+    tokensPerSecond > 0 && state.running.size > 0
+      ? tokensPerSecond / state.running.size
+      : 1_000 / DEFAULT_GAP_MS;
+  const budget = {
+    used: usedTokens + countNewTokens(state),
+    total: computeClassMemory(totalTokens, request.targets),
+    horizonTokens: (perSequence * context.settings.horizonMs) / 1_000,
+  };
+  return estimateMemory(budget, change).overflowProbability;
+};
+
+const estimateRetryAfter = (state: AdmissionState, survival: SurvivalView): Millis => {
+  let fewest = Infinity;
+  for (const sequence of state.running.values()) {
+    const remaining = survival.estimateRemaining(toKey(sequence), sequence.generated);
+    fewest = Math.min(fewest, remaining.quantile(0.5));
+  }
+  const wait = fewest * (state.gaps.recentMs ?? DEFAULT_GAP_MS);
+  return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, wait)));
+};
+
+const buildRefusal = (message: string, retryAfterMs: Millis): AdmitDecision => ({
+  kind: 'refuse',
+  failure: createFailure('not-run', 'overloaded', message, retryAfterMs),
+});
+
+/**
+ * Decides whether the endpoint daemon admits a request. An admitted request must be reported to
+ * `decideLimit` as `admitted` before the next decision.
+ *
+ * @param state - state of the limit
+ * @param request - request under decision
+ * @param context - settings and length estimates
+ * @returns admission, or a refusal as not-run
+ */
+export const decideAdmit = (
+  state: AdmissionState,
+  request: AdmissionRequest,
+  context: AdmissionContext,
+): AdmitDecision => {
+  const { settings, survival } = context;
+  const { totalTokens } = state.memory;
+  const limit = getLimit(state);
+  if (limit === 0) return buildRefusal('the engine is not confirmed', MIN_RETRY_AFTER_MS);
+  if (totalTokens > 0 && request.promptTokens >= totalTokens) {
+    const message = `the prompt needs more than the engine's ${totalTokens.toString()} tokens`;
+    return { kind: 'refuse', failure: createFailure('not-run', 'too-large', message) };
+  }
+  if (state.running.size >= computeClassLimit(limit, request.targets)) {
+    const message = `the limit of ${limit.toString()} sequences is reached`;
+    return buildRefusal(message, estimateRetryAfter(state, survival));
+  }
+  if (countUnconfirmed(state) >= settings.maxUnconfirmed) {
+    return buildRefusal('the engine must confirm its latest sequences', MIN_RETRY_AFTER_MS);
+  }
+  // An idle engine takes any request that fits now, or a long one would wait for ever.
+  if (state.running.size === 0) return { kind: 'admit' };
+  const accepted = request.targets.overflowProbability ?? settings.overflowProbability;
+  if (estimateOverflow(state, request, context) > accepted) {
+    return buildRefusal('memory would overflow', estimateRetryAfter(state, survival));
+  }
+  return { kind: 'admit' };
+};
--- /dev/null
+++ b/packages/decisions/admission/decideLimit.ts
@@ -0,0 +1,325 @@
+import {
+  EVIDENCE_LOAD_SHARE,
+  GAP_WEIGHT,
+  GROWTH_FREE_MEMORY_SHARE,
+  MIN_GAP_SAMPLES,
+} from './constants.js';
+import type {
+  AdmissionContext,
+  AdmissionEffect,
+  AdmissionEvent,
+  AdmissionPhase,
+  AdmissionRequest,
+  AdmissionSettings,
+  AdmissionState,
+  EngineIdentity,
+  LimitCause,
+  RunningSequence,
+  TokenGaps,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { RequestId } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+
+type AdmissionStep = Step<AdmissionState, AdmissionEffect>;
+type EventOf<Kind extends AdmissionEvent['kind']> = Extract<
+  AdmissionEvent,
+  { readonly kind: Kind }
+>;
+
+const NO_GAPS: TokenGaps = { samples: 0 };
+
+/** Creates the state of a daemon that has not yet seen its engine. */
+export const createAdmissionState = (now: Millis): AdmissionState => ({
+  phase: { kind: 'starting' },
+  running: new Map(),
+  memory: { usedTokens: 0, totalTokens: 0, tokensPerSecond: 0, preemptions: 0 },
+  gaps: NO_GAPS,
+  evidence: 0,
+  changedAt: now,
+});
+
+/**
+ * Returns the sequences that may run now.
+ *
+ * @param state - state of the limit
+ * @returns the limit, 0 while the engine's identity is not confirmed
+ */
+export const getLimit = (state: AdmissionState): number => {
+  switch (state.phase.kind) {
+    case 'starting':
+      return 0;
+    case 'ramping':
+    case 'serving':
+      return state.phase.limit;
+    default:
+      return assertNever(state.phase);
+  }
+};
+
+/**
+ * Counts the sequences that the engine took since it last showed its identity.
+ *
+ * @param state - state of the limit
+ * @returns number of unconfirmed sequences
+ */
+export const countUnconfirmed = (state: AdmissionState): number => {
+  let count = 0;
+  for (const sequence of state.running.values()) {
+    if (sequence.engine === 'unconfirmed') count += 1;
+  }
+  return count;
+};
+
+const applyPhase = (
+  state: AdmissionState,
+  phase: AdmissionPhase,
+  cause: LimitCause,
+  now: Millis,
+): AdmissionStep => {
+  const next = { ...state, phase, evidence: 0, changedAt: now };
+  return toStep(next, { kind: 'limit-changed', limit: getLimit(next), phase: phase.kind, cause });
+};
+
+const startEngine = (
+  state: AdmissionState,
+  identity: EngineIdentity,
+  settings: AdmissionSettings,
+  cause: LimitCause,
+  now: Millis,
+): AdmissionStep =>
+  applyPhase(
+    { ...state, gaps: NO_GAPS },
+    { kind: 'ramping', identity, limit: settings.startLimit },
+    cause,
+    now,
+  );
+
+/** A broken sequence may mean a restart, so nothing is admitted until the identity is read again. */
+const resetEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
+  const { phase } = state;
+  if (phase.kind === 'starting') return toStep(state, { kind: 'read-load' });
+  const previous = { identity: phase.identity, limit: phase.limit };
+  const step = applyPhase(state, { kind: 'starting', previous }, 'engine-suspected', now);
+  return toStep(step.state, ...step.effects, { kind: 'read-load' });
+};
+
+/** Sequences confirmed under the old identity ended with it; later ones may run on the new engine. */
+const updateEngine = (
+  state: AdmissionState,
+  identity: EngineIdentity,
+  settings: AdmissionSettings,
+  now: Millis,
+): AdmissionStep => {
+  const lost = [...state.running.values()].filter((sequence) => sequence.engine === 'confirmed');
+  const running = new Map(state.running);
+  for (const sequence of lost) running.delete(sequence.requestId);
+  const step = startEngine({ ...state, running }, identity, settings, 'engine-changed', now);
+  return toStep(step.state, ...step.effects, {
+    kind: 'sequences-lost',
+    requestIds: lost.map((sequence) => sequence.requestId),
+  });
+};
+
+const applyDecrease = (
+  state: AdmissionState,
+  settings: AdmissionSettings,
+  cause: LimitCause,
+  now: Millis,
+): AdmissionStep => {
+  if (state.phase.kind === 'starting' || now - state.changedAt < settings.settleMs) {
+    return toStep(state);
+  }
+  const { identity, limit } = state.phase;
+  const lower = Math.max(settings.startLimit, Math.floor(limit * settings.decreaseFactor));
+  return applyPhase(state, { kind: 'serving', identity, limit: lower }, cause, now);
+};
+
+const settleIdentity = (
+  state: AdmissionState,
+  identity: EngineIdentity,
+  settings: AdmissionSettings,
+  now: Millis,
+): AdmissionStep => {
+  const { phase } = state;
+  if (phase.kind !== 'starting') {
+    return phase.identity === identity
+      ? toStep(state)
+      : updateEngine(state, identity, settings, now);
+  }
+  if (phase.previous === undefined) {
+    return startEngine(state, identity, settings, 'engine-seen', now);
+  }
+  if (phase.previous.identity !== identity) return updateEngine(state, identity, settings, now);
+  const limit = Math.max(settings.startLimit, Math.floor(phase.previous.limit / 2));
+  return applyPhase(state, { kind: 'ramping', identity, limit }, 'engine-seen', now);
+};
+
+/** A page that was asked for before the admission says nothing about the sequence's engine. */
+const updateSequence = (
+  sequence: RunningSequence,
+  event: EventOf<'load-read'>,
+): RunningSequence => ({
+  ...sequence,
+  engine: sequence.admittedAt < event.requestedAt ? 'confirmed' : sequence.engine,
+  generated: event.generated.get(sequence.requestId) ?? sequence.generated,
+});
+
+const handleLoad = (
+  state: AdmissionState,
+  event: EventOf<'load-read'>,
+  settings: AdmissionSettings,
+): AdmissionStep => {
+  const settled = settleIdentity(state, event.identity, settings, event.now);
+  const running = new Map<RequestId, RunningSequence>();
+  for (const [id, sequence] of settled.state.running) {
+    running.set(id, updateSequence(sequence, event));
+  }
+  const next = { ...settled.state, running, memory: event.memory };
+  const preempted =
+    settled.effects.length === 0 && event.memory.preemptions > state.memory.preemptions;
+  if (!preempted) return toStep(next, ...settled.effects);
+  return applyDecrease(next, settings, 'preemption', event.now);
+};
+
+const addRunning = (
+  state: AdmissionState,
+  request: AdmissionRequest,
+  admittedAt: Millis,
+): AdmissionState => ({
+  ...state,
+  running: new Map(state.running).set(request.requestId, {
+    ...request,
+    generated: 0,
+    engine: 'unconfirmed',
+    admittedAt,
+  }),
+});
+
+const handleAdmitted = (
+  state: AdmissionState,
+  event: EventOf<'admitted'>,
+  settings: AdmissionSettings,
+): AdmissionStep => {
+  const next = addRunning(state, event.request, event.now);
+  return countUnconfirmed(next) >= settings.maxUnconfirmed
+    ? toStep(next, { kind: 'read-load' })
+    : toStep(next);
+};
+
+const updateGaps = (gaps: TokenGaps, gapMs: Millis): TokenGaps => {
+  const recentMs =
+    gaps.recentMs === undefined ? gapMs : gaps.recentMs + GAP_WEIGHT * (gapMs - gaps.recentMs);
+  const samples = gaps.samples + 1;
+  if (samples < MIN_GAP_SAMPLES) return { recentMs, samples };
+  return { recentMs, samples, baselineMs: Math.min(gaps.baselineMs ?? Infinity, recentMs) };
+};
+
+const isNearBaseline = (gaps: TokenGaps, settings: AdmissionSettings): boolean =>
+  gaps.baselineMs !== undefined &&
+  gaps.recentMs !== undefined &&
+  gaps.recentMs <= Math.max(settings.nearFactor * gaps.baselineMs, settings.acceptedGapMs);
+
+const hasFreeMemory = (state: AdmissionState): boolean => {
+  const { usedTokens, totalTokens } = state.memory;
+  return totalTokens === 0 || usedTokens <= totalTokens * (1 - GROWTH_FREE_MEMORY_SHARE);
+};
+
+const addEvidence = (
+  state: AdmissionState,
+  amount: number,
+  settings: AdmissionSettings,
+  now: Millis,
+): AdmissionStep => {
+  const { phase } = state;
+  if (phase.kind === 'starting') return toStep(state);
+  if (state.running.size < phase.limit * EVIDENCE_LOAD_SHARE) return toStep(state);
+  const evidence = state.evidence + amount;
+  const isEnough = evidence >= phase.limit && phase.limit < settings.maxLimit;
+  if (!isEnough || !isNearBaseline(state.gaps, settings) || !hasFreeMemory(state)) {
+    return toStep({ ...state, evidence: Math.min(evidence, phase.limit) });
+  }
+  const factor = phase.kind === 'ramping' ? settings.growthFactor : 1;
+  const grown = Math.max(phase.limit + 1, Math.floor(phase.limit * factor));
+  const limit = Math.min(settings.maxLimit, grown);
+  const kind = limit === settings.maxLimit ? 'serving' : phase.kind;
+  return applyPhase(state, { kind, identity: phase.identity, limit }, 'evidence', now);
+};
+
+const handleTokens = (
+  state: AdmissionState,
+  event: EventOf<'tokens-received'>,
+  settings: AdmissionSettings,
+): AdmissionStep => {
+  const { phase } = state;
+  const { baselineMs } = state.gaps;
+  if (phase.kind === 'starting') return toStep(state);
+  // One such gap can be a stall of the engine, but a cold engine given full load does not recover.
+  const coldMs = Math.max(settings.coldFactor * (baselineMs ?? Infinity), settings.acceptedGapMs);
+  if (event.gapMs > coldMs) {
+    return startEngine(state, phase.identity, settings, 'cold-latency', event.now);
+  }
+  const gaps = updateGaps(state.gaps, event.gapMs);
+  const next = { ...state, gaps };
+  const collapseMs = settings.collapseFactor * (gaps.baselineMs ?? Infinity);
+  if ((gaps.recentMs ?? 0) > Math.max(collapseMs, settings.acceptedGapMs)) {
+    return applyDecrease(next, settings, 'collapse', event.now);
+  }
+  return addEvidence(next, event.tokens / settings.evidenceTokens, settings, event.now);
+};
+
+const handleEnd = (
+  state: AdmissionState,
+  event: EventOf<'sequence-ended'>,
+  settings: AdmissionSettings,
+): AdmissionStep => {
+  if (!state.running.has(event.requestId)) return toStep(state);
+  const running = new Map(state.running);
+  running.delete(event.requestId);
+  switch (event.reason) {
+    case 'finished': {
+      // The ended sequence was part of the load that the evidence is about.
+      const step = addEvidence(state, settings.completionEvidence, settings, event.now);
+      return toStep({ ...step.state, running }, ...step.effects);
+    }
+    case 'cancelled':
+      return toStep({ ...state, running });
+    case 'engine-failed':
+      return resetEngine({ ...state, running }, event.now);
+    default:
+      return assertNever(event.reason);
+  }
+};
+
+/**
+ * Decides the admission limit: it starts low, grows with evidence, falls by a factor at collapse
+ * signs, and falls to the start value when the engine may be cold.
+ *
+ * @param state - state of the limit
+ * @param event - what was seen of the engine
+ * @param context - settings and length estimates
+ * @returns next state and effects
+ */
+export const decideLimit = (
+  state: AdmissionState,
+  event: AdmissionEvent,
+  context: AdmissionContext,
+): AdmissionStep => {
+  const { settings } = context;
+  switch (event.kind) {
+    case 'load-read':
+      return handleLoad(state, event, settings);
+    case 'admitted':
+      return handleAdmitted(state, event, settings);
+    case 'tokens-received':
+      return handleTokens(state, event, settings);
+    case 'sequence-ended':
+      return handleEnd(state, event, settings);
+    case 'engine-unreachable':
+      return resetEngine(state, event.now);
+    default:
+      return assertNever(event);
+  }
+};
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -1,5 +1,5 @@
+import { computeClassMemory } from './eligible.js';
 import {
-  CRITICAL_RESERVE_SHARE,
   DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
   MAX_EXTRAPOLATION_MS,
   PREFIX_FRESHNESS_MS,
@@ -7,7 +7,6 @@
   SAME_DATA_CENTRE_BONUS,
 } from './constants.js';
 import type {
-  ClassTargets,
   EndpointView,
   OwnView,
   PlacementCandidate,
@@ -82,18 +81,6 @@
   return (perSequence * horizonMs) / 1_000;
 };
 
-const computeMemoryTotal = (total: number, targets: ClassTargets): number => {
-  switch (targets.importance) {
-    case 'critical':
-      return total;
-    case 'standard':
-    case 'background':
-      return total * (1 - CRITICAL_RESERVE_SHARE);
-    default:
-      return assertNever(targets.importance);
-  }
-};
-
 /** The request's own change depends on the endpoint's version alone, so it is computed once. */
 const getRequestChange = (inputs: HeadroomInputs, version: VersionName): MemoryChange => {
   const known = inputs.requestChanges.get(version);
@@ -125,7 +112,7 @@
   }
   const budget: MemoryBudget = {
     used: kept + growth + (load?.newTokens ?? 0),
-    total: computeMemoryTotal(endpoint.memoryTotalTokens, request.targets),
+    total: computeClassMemory(endpoint.memoryTotalTokens, request.targets),
     horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
   };
   return estimateMemory(budget, scratch);
@@ -185,7 +172,8 @@
       overflowProbability: memory.overflowProbability,
       headroom: memory.headroom,
     },
-    room: memory.overflowProbability <= accepted ? 'fits' : 'too-full',
+    // An idle engine takes any request, or one that is longer than expected would wait for ever.
+    room: requests === 0 || memory.overflowProbability <= accepted ? 'fits' : 'too-full',
     prefixWorth,
   };
 };
