Add stand-in, time line, explain and operator commands

Daemons that do not answer are warnings, since the events of the others are still of use. A publication without answer says that it may be in force, because the append can have landed.

--- /dev/null
+++ b/app/commands/explain/move.ts
@@ -0,0 +1,17 @@
+import { Args, Command } from '@oclif/core';
+import { JSON_FLAG, SOURCE_FLAGS } from '../../flags.js';
+import { printOutcome } from '../../output.js';
+import { explainMoveFrom } from '../../timelineOutcomes.js';
+
+export default class ExplainMove extends Command {
+  static override summary = 'Explain what happened to one version move and why.';
+  static override args = {
+    name: Args.string({ description: 'Name of the move.', required: true }),
+  };
+  static override flags = { ...SOURCE_FLAGS, json: JSON_FLAG };
+
+  async run(): Promise<void> {
+    const { args, flags } = await this.parse(ExplainMove);
+    printOutcome(await explainMoveFrom(flags, args.name), flags.json);
+  }
+}
--- /dev/null
+++ b/app/commands/standin/platform.ts
@@ -0,0 +1,31 @@
+import { Command, Flags } from '@oclif/core';
+import { JSON_FLAG, PORT_FLAG } from '../../flags.js';
+import { serveUntilSignal } from '../../serving.js';
+import { startPlatformStandin } from '../../../packages/standins/platform/startPlatformStandin.js';
+
+export default class StandinPlatform extends Command {
+  static override summary =
+    'Run the stand-in of the platform (log, instance list, weight store) until SIGINT or SIGTERM.';
+  static override flags = {
+    port: PORT_FLAG,
+    'appends-per-second': Flags.integer({ summary: 'Append requests taken a second.', min: 1 }),
+    'retention-records': Flags.integer({ summary: 'Records kept in each stream.', min: 1 }),
+    'list-lag-ms': Flags.integer({ summary: 'Lag of the instance list.', min: 0 }),
+    json: JSON_FLAG,
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(StandinPlatform);
+    const appendsPerSecond = flags['appends-per-second'];
+    const retentionRecords = flags['retention-records'];
+    const listLagMs = flags['list-lag-ms'];
+    const standin = await startPlatformStandin({
+      port: flags.port,
+      ...(appendsPerSecond === undefined ? {} : { appendsPerSecond }),
+      ...(retentionRecords === undefined ? {} : { retentionRecords }),
+      ...(listLagMs === undefined ? {} : { listLagMs }),
+    });
+    const serving = { urls: { platform: standin.url }, stop: standin.close };
+    await serveUntilSignal('platform stand-in', serving, flags.json);
+  }
+}
--- /dev/null
+++ b/app/commands/standin/service.ts
@@ -0,0 +1,31 @@
+import { Command, Flags } from '@oclif/core';
+import { JSON_FLAG, PORT_FLAG } from '../../flags.js';
+import { serveUntilSignal } from '../../serving.js';
+import { startLedgerStandin } from '../../../packages/standins/ledger/startLedgerStandin.js';
+
+export default class StandinService extends Command {
+  static override summary = 'Run the stand-in of a plain service until SIGINT or SIGTERM.';
+  static override flags = {
+    port: PORT_FLAG,
+    'inspection-port': Flags.integer({
+      summary: 'Port of the inspection pages, which no fault reaches; 0 takes a free one.',
+      default: 0,
+      min: 0,
+      max: 65_535,
+    }),
+    'call-ms': Flags.integer({ summary: 'Usual time of one call.', min: 0 }),
+    json: JSON_FLAG,
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(StandinService);
+    const callMs = flags['call-ms'];
+    const standin = await startLedgerStandin({
+      port: flags.port,
+      inspectionPort: flags['inspection-port'],
+      ...(callMs === undefined ? {} : { callMs }),
+    });
+    const urls = { service: standin.url, inspection: standin.inspectionUrl };
+    await serveUntilSignal('service stand-in', { urls, stop: standin.close }, flags.json);
+  }
+}
--- a/app/exitCodes.ts
+++ b/app/exitCodes.ts
@@ -13,7 +13,7 @@
   internal: { code: 70, text: 'A fault inside the command or the daemon.' },
   'try-again': {
     code: 75,
-    text: 'Nothing was changed and a later try can succeed: lost race, or a daemon does not answer.',
+    text: 'A later try can succeed: a race was lost, or a daemon does not answer. The message says what may have changed.',
   },
   'bad-settings': { code: 78, text: 'A settings file or a record is not valid.' },
 };
--- a/app/output.ts
+++ b/app/output.ts
@@ -4,7 +4,13 @@
 
 /** What a command prints and how it ends. */
 export type CommandOutcome =
-  | { readonly kind: 'done'; readonly text: string; readonly data: unknown }
+  | {
+      readonly kind: 'done';
+      readonly text: string;
+      readonly data: unknown;
+      /** What makes the data partial. */
+      readonly warnings?: readonly string[];
+    }
   | {
       readonly kind: 'failed';
       readonly reason: Exclude<ExitReason, 'ok'>;
@@ -34,7 +40,8 @@
   switch (outcome.kind) {
     case 'done': {
       const stdout = format === 'json' ? JSON.stringify(outcome.data) : outcome.text;
-      return { stdout: toLine(stdout), stderr: '', exitCode: EXIT_CODES.ok.code };
+      const stderr = (outcome.warnings ?? []).map(toLine).join('');
+      return { stdout: toLine(stdout), stderr, exitCode: EXIT_CODES.ok.code };
     }
     case 'failed': {
       const data = outcome.data ?? { reason: outcome.reason, message: outcome.message };
--- /dev/null
+++ b/app/timelineOutcomes.ts
@@ -0,0 +1,107 @@
+import { writeFileSync } from 'node:fs';
+import { fetchLogs } from './clients/debugPages.js';
+import type { EventSources } from './clients/debugPages.js';
+import type { CommandOutcome } from './output.js';
+import { explainMove } from '../packages/timeline/explainMove.js';
+import { explainRequest } from '../packages/timeline/explainRequest.js';
+import { mergeTimelines, selectEvents } from '../packages/timeline/merge.js';
+import { renderExplanationText, renderMoveText } from '../packages/timeline/renderExplanation.js';
+import { renderTimeline } from '../packages/timeline/renderTimeline.js';
+import type { TimelineFormat } from '../packages/timeline/renderTimeline.js';
+import type { EventSelection, MergedEvent } from '../packages/timeline/types.js';
+
+/** Flags of the commands that read events. */
+export interface SourceFlags {
+  readonly url?: readonly string[] | undefined;
+  readonly 'list-url'?: string | undefined;
+}
+
+/** Form and place of a rendered time line. */
+export interface TimelineOptions {
+  readonly format: TimelineFormat;
+  /** File to write in place of standard output. */
+  readonly output?: string | undefined;
+}
+
+const toSources = (flags: SourceFlags): EventSources => ({
+  urls: flags.url ?? [],
+  ...(flags['list-url'] === undefined ? {} : { listUrl: flags['list-url'] }),
+});
+
+type Describe = (events: readonly MergedEvent[], missing: readonly string[]) => CommandOutcome;
+
+const explainFrom = async (flags: SourceFlags, describe: Describe): Promise<CommandOutcome> => {
+  const { logs, missing } = await fetchLogs(toSources(flags));
+  if (logs.length === 0) {
+    const message = ['no daemon gave its events', ...missing].join('\n');
+    return { kind: 'failed', reason: 'try-again', message };
+  }
+  return describe(mergeTimelines(logs), missing);
+};
+
+const formatTitle = (selection: EventSelection): string => {
+  const parts = Object.entries(selection).flatMap(([name, value]) =>
+    value === undefined ? [] : [`${name} ${String(value)}`],
+  );
+  return ['time line', ...parts].join(', ');
+};
+
+const writeDocument = (document: string, file: string, events: number): CommandOutcome => {
+  writeFileSync(file, document);
+  const text = `wrote ${events.toString()} events to ${file}`;
+  return { kind: 'done', text, data: { file, events } };
+};
+
+/**
+ * Renders the merged events of daemons.
+ *
+ * @param flags - where the events are read
+ * @param selection - which events are shown
+ * @param options - form and place of the result
+ * @returns the time line; daemons that gave no events are warnings
+ */
+export const renderEvents = (
+  flags: SourceFlags,
+  selection: EventSelection,
+  options: TimelineOptions,
+): Promise<CommandOutcome> =>
+  explainFrom(flags, (merged, warnings) => {
+    const events = selectEvents(merged, selection);
+    const document = renderTimeline(events, options.format, formatTitle(selection));
+    const outcome: CommandOutcome =
+      options.output === undefined
+        ? { kind: 'done', text: document, data: { events, missing: warnings } }
+        : writeDocument(document, options.output, events.length);
+    return { ...outcome, warnings };
+  });
+
+/**
+ * Explains a request from the events of daemons.
+ *
+ * @param flags - where the events are read
+ * @param requestId - the request
+ * @returns the explanation
+ */
+export const explainRequestFrom = (
+  flags: SourceFlags,
+  requestId: string,
+): Promise<CommandOutcome> =>
+  explainFrom(flags, (merged, warnings) => {
+    const explanation = explainRequest(merged, requestId);
+    const text = renderExplanationText(explanation);
+    return { kind: 'done', text, data: { ...explanation, missing: warnings }, warnings };
+  });
+
+/**
+ * Explains a version move from the events of daemons.
+ *
+ * @param flags - where the events are read
+ * @param name - name of the move
+ * @returns the explanation
+ */
+export const explainMoveFrom = (flags: SourceFlags, name: string): Promise<CommandOutcome> =>
+  explainFrom(flags, (merged, warnings) => {
+    const explanation = explainMove(merged, name);
+    const text = renderMoveText(explanation);
+    return { kind: 'done', text, data: { ...explanation, missing: warnings }, warnings };
+  });
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { getNodeValue, parseTree } from 'jsonc-parser';
-import type { ParseError } from 'jsonc-parser';
+import type { Node, ParseError } from 'jsonc-parser';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { ENDPOINT_SCHEMA } from './endpointSchema.js';
@@ -33,6 +33,19 @@
   }
 };
 
+interface ParsedText {
+  readonly text: string;
+  readonly root: Node | undefined;
+  readonly value: unknown;
+}
+
+const parseText = (text: string): Result<ParsedText, Problems> => {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, { allowTrailingComma: true });
+  if (errors.length > 0) return Err(describeSyntax(errors, text));
+  return Ok({ text, root, value: root === undefined ? undefined : getNodeValue(root) });
+};
+
 /**
  * Checks the text of a settings file and fills in its defaults.
  *
@@ -43,15 +56,23 @@
 export const parseSettings = <Kind extends SettingsKind>(
   text: string,
   kind: Kind,
-): Result<SettingsByKind[Kind], Problems> => {
-  const errors: ParseError[] = [];
-  const root = parseTree(text, errors, { allowTrailingComma: true });
-  if (errors.length > 0) return Err(describeSyntax(errors, text));
-  const value: unknown = root === undefined ? undefined : getNodeValue(root);
-  const parsed = parseWith(kind, value);
-  if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
-  return Ok(parsed.data as SettingsByKind[Kind]);
-};
+): Result<SettingsByKind[Kind], Problems> =>
+  parseText(text).andThen(({ root, value }) => {
+    const parsed = parseWith(kind, value);
+    if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
+    return Ok(parsed.data as SettingsByKind[Kind]);
+  });
+
+/**
+ * Reads a file of JSON with comments that no schema of this package describes.
+ *
+ * @param path - file
+ * @returns the value, or the faults of the file's syntax
+ */
+export const loadJson = (path: string): Result<unknown, Problems> =>
+  readText(path)
+    .andThen(parseText)
+    .map(({ value }) => value);
 
 /**
  * Reads and checks a settings file. Nothing else happens: no address is opened.
@@ -73,9 +94,7 @@
  * @returns the kind, or the problem of a file that cannot be read or names neither daemon
  */
 export const findSettingsKind = (path: string): Result<SettingsKind, Problems> =>
-  readText(path).andThen((text) => {
-    const root = parseTree(text);
-    const value: unknown = root === undefined ? undefined : getNodeValue(root);
+  loadJson(path).andThen((value) => {
     if (typeof value === 'object' && value !== null) {
       if ('target' in value || 'endpoint' in value) return Ok('endpoint');
       if ('callers' in value || 'customers' in value) return Ok('entry');
