Share the loop, the tree and the common effects between the stand-ins

The three start functions repeated the same adapters. Steps of the engine now count from the planned end of the last one, so late timers do not add up.

--- /dev/null
+++ b/packages/standins/common/daemon.ts
@@ -0,0 +1,143 @@
+import type { Exchange } from './exchange.js';
+import type { Answer, ReplyId } from './exchange.js';
+import type { Listener } from './listener.js';
+import type { Standin } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import type { Loop } from '../../core/loop/types.js';
+import { createDaemon } from '../../core/supervision/daemon.js';
+import { startSupervisor } from '../../core/supervision/supervisor.js';
+import type { ChildSpec, RunningChild } from '../../core/supervision/types.js';
+
+/** Effects that every stand-in has. */
+export type CommonEffect<Event> =
+  | { readonly kind: 'answer'; readonly reply: ReplyId; readonly answer: Answer }
+  /** Ends the connection of a request without an answer. */
+  | { readonly kind: 'drop'; readonly reply: ReplyId }
+  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: Event }
+  /** Ends every connection and answers nothing for a time. */
+  | { readonly kind: 'crash'; readonly downMs: Millis }
+  /** Holds every request for a time. */
+  | { readonly kind: 'freeze'; readonly forMs: Millis };
+
+/** What carries out the common effects. */
+export interface CommonAdapters<Event> {
+  readonly exchange: Exchange;
+  readonly listener: Listener;
+  readonly loop: Loop<Event>;
+}
+
+/** Tree and loop of a stand-in, before its listeners open. */
+export interface StandinDaemon<Event> {
+  readonly post: (event: Event) => void;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+export interface StandinDaemonOptions<Event extends { readonly to: string }, Effect> {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly children: readonly ChildSpec<Event, Effect>[];
+  readonly perform: (effect: Effect, loop: Loop<Event>) => void;
+}
+
+/**
+ * Carries out an effect that every stand-in has.
+ *
+ * @param effect - effect of a decision
+ * @param adapters - requests that wait, HTTP server and loop
+ */
+export const performCommonEffect = <Event>(
+  effect: CommonEffect<Event>,
+  { exchange, listener, loop }: CommonAdapters<Event>,
+): void => {
+  switch (effect.kind) {
+    case 'answer':
+      exchange.answer(effect.reply, effect.answer);
+      return;
+    case 'drop':
+      exchange.drop(effect.reply);
+      return;
+    case 'schedule':
+      loop.schedule(effect.delayMs, effect.event);
+      return;
+    case 'crash':
+      listener.crash(effect.downMs);
+      return;
+    case 'freeze':
+      listener.freeze(effect.forMs);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
+
+const failWith = (error: unknown): never => {
+  throw error;
+};
+
+/** A failed child of a stand-in is a defect of the stand-in, so it ends the process. */
+const startRoot = <Event extends { readonly to: string }, Effect>(
+  options: StandinDaemonOptions<Event, Effect>,
+): RunningChild<Event, Effect> =>
+  startSupervisor<Event, Effect>(
+    {
+      name: options.name,
+      strategy: 'one-for-one',
+      intensity: { restarts: 0, withinMs: 1_000 },
+      children: options.children,
+      route: (event) => event.to,
+    },
+    options.clock,
+    ({ error }) => failWith(error),
+  );
+
+/**
+ * Creates the loop and the supervisor tree of a stand-in.
+ *
+ * @param options - children and adapters
+ * @returns the daemon, not yet started
+ */
+export const createStandinDaemon = <Event extends { readonly to: string }, Effect>(
+  options: StandinDaemonOptions<Event, Effect>,
+): StandinDaemon<Event> => {
+  const daemon = createDaemon<Event, Effect>({
+    classify: () => 'control',
+    startRoot: () => startRoot(options),
+    perform: (effect) => {
+      options.perform(effect, daemon.loop);
+    },
+    onFault: failWith,
+  });
+  return {
+    post: (event) => {
+      daemon.loop.post(event);
+    },
+    start: daemon.start,
+    stop: daemon.stop,
+  };
+};
+
+/**
+ * Starts a stand-in and opens its server.
+ *
+ * @param daemon - loop and tree
+ * @param listener - HTTP server with its routes
+ * @param port - port on 127.0.0.1; 0 picks a free one
+ * @returns the running stand-in
+ */
+export const startStandin = async <Event>(
+  daemon: StandinDaemon<Event>,
+  listener: Listener,
+  port: number,
+): Promise<Standin> => {
+  daemon.start();
+  await listener.open(port);
+  return {
+    url: listener.getUrl(),
+    close: async () => {
+      daemon.stop();
+      await listener.close();
+    },
+  };
+};
--- a/packages/standins/engine/constants.ts
+++ b/packages/standins/engine/constants.ts
@@ -38,3 +38,6 @@
 
 /** Requests whose executions are counted one by one in the statistics. */
 export const COUNTED_REQUESTS = 100_000;
+
+/** Lateness of a timer that the next step makes up for. */
+export const MAX_TIMER_LAG_MS = 20;
--- a/packages/standins/engine/pages.ts
+++ b/packages/standins/engine/pages.ts
@@ -1,18 +1,12 @@
 import type { FastifyInstance } from 'fastify';
 import { Gauge, Registry } from 'prom-client';
-import type { ControlState } from './control/controlChild.js';
 import { readCacheEvents } from './scheduler/cacheLog.js';
 import { computeHealth, computeLoad } from './scheduler/load.js';
 import type { SchedulerState } from './scheduler/types.js';
 import { CACHE_EVENTS_SCHEMA } from './schemas.js';
+import type { EngineViews } from './supervisor.js';
 import type { Clock } from '../../core/clock.js';
 
-/** States that the pages read. */
-export interface PageViews {
-  readonly getScheduler: () => SchedulerState;
-  readonly getControl: () => ControlState;
-}
-
 const METRICS = {
   engine_running_sequences: ({ batch }: SchedulerState) => batch.running.length,
   engine_waiting_sequences: ({ batch }: SchedulerState) => batch.waiting.length,
@@ -23,7 +17,7 @@
   engine_overloaded_while_cold_total: ({ stats }: SchedulerState) => stats.overloadedWhileCold,
 } as const;
 
-const createMetrics = (views: PageViews): Registry => {
+const createMetrics = (views: EngineViews): Registry => {
   const registry = new Registry();
   for (const [name, measureValue] of Object.entries(METRICS)) {
     const gauge = new Gauge({
@@ -31,16 +25,16 @@
       help: name.replaceAll('_', ' '),
       registers: [registry],
       collect: () => {
-        gauge.set(measureValue(views.getScheduler()));
+        gauge.set(measureValue(views.scheduler.get()));
       },
     });
   }
   return registry;
 };
 
-const registerHealthPages = (app: FastifyInstance, views: PageViews, clock: Clock): void => {
+const registerHealthPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
   app.get('/health', async () => {
-    const state = views.getScheduler();
+    const state = views.scheduler.get();
     return {
       status: computeHealth(state, clock.now()),
       startId: state.startId,
@@ -49,11 +43,11 @@
     };
   });
   app.get('/load', async () => {
-    const { at, ...figures } = views.getScheduler().published;
+    const { at, ...figures } = views.scheduler.get().published;
     return { ...figures, ageMs: clock.now() - at };
   });
   app.get('/v1/models', async () => {
-    const { settings } = views.getScheduler();
+    const { settings } = views.scheduler.get();
     return {
       object: 'list',
       data: [{ id: settings.model, object: 'model', created: 0, owned_by: 'standin' }],
@@ -68,7 +62,7 @@
  * @param views - states to read
  * @param clock - current time
  */
-export const registerPages = (app: FastifyInstance, views: PageViews, clock: Clock): void => {
+export const registerPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
   const metrics = createMetrics(views);
   registerHealthPages(app, views, clock);
   app.get('/metrics', async (_request, reply) =>
@@ -76,18 +70,18 @@
   );
   app.get('/cache-events', async (request) => {
     const { from } = CACHE_EVENTS_SCHEMA.parse(request.query);
-    const { cacheLog, settings } = views.getScheduler();
+    const { cacheLog, settings } = views.scheduler.get();
     return readCacheEvents(cacheLog, from, settings.cacheEventLagMs, clock.now());
   });
   app.get('/standin/stats', async () => {
-    const { stats, counts, startId, batch } = views.getScheduler();
+    const { stats, counts, startId, batch } = views.scheduler.get();
     const { running, waiting } = batch;
     return {
       ...stats,
       startId,
       running: running.length,
       waiting: waiting.length,
-      control: views.getControl(),
+      control: views.control.get(),
       requests: counts.list(),
     };
   });
--- a/packages/standins/engine/scheduler/schedulerChild.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.ts
@@ -6,6 +6,7 @@
 import { computeBearing } from './ramp.js';
 import { createRequestCounts } from './requestCounts.js';
 import type { SchedulerEnvironment, SchedulerState, SchedulerStats } from './types.js';
+import { MAX_TIMER_LAG_MS } from '../constants.js';
 import { addFault, computeSlowFactor, decideFault } from '../faults.js';
 import type { EngineFault } from '../faults.js';
 import type {
@@ -65,6 +66,13 @@
   return durationMs * collapse * computeSlowFactor(state.faults, now);
 };
 
+/**
+ * Finds the instant from which the next step counts: the planned end of the last one, so that late
+ * timers do not add up, unless the process was held up for longer.
+ */
+const findStepStart = ({ phase }: SchedulerState, now: Millis): Millis =>
+  phase.kind === 'stepping' && now - phase.dueAt < MAX_TIMER_LAG_MS ? phase.dueAt : now;
+
 /** Begins the next step, or goes idle when nothing runs. */
 const startStep = (state: SchedulerState, environment: SchedulerEnvironment): SchedulerStep => {
   const now = environment.now();
@@ -82,11 +90,12 @@
   const next = recordCacheChanges(counted, plan.changes, environment);
   if (running === 0) return toStep({ ...next, phase: { kind: 'idle' } });
   const number = state.steps + 1;
+  const dueAt = findStepStart(state, now) + computeStepMs(state, plan.durationMs, now);
   return toStep<SchedulerState, EngineEffect>(
-    { ...next, steps: number, phase: { kind: 'stepping', number } },
+    { ...next, steps: number, phase: { kind: 'stepping', number, dueAt } },
     {
       kind: 'schedule',
-      delayMs: computeStepMs(state, plan.durationMs, now),
+      delayMs: dueAt - now,
       event: { to: 'scheduler', kind: 'step-due', step: number },
     },
   );
--- a/packages/standins/engine/startEngineStandin.ts
+++ b/packages/standins/engine/startEngineStandin.ts
@@ -1,42 +1,35 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { DEFAULT_ENGINE_SETTINGS } from './constants.js';
-import type { ControlState } from './control/controlChild.js';
 import { ENGINE_FAULT_SCHEMA } from './faults.js';
 import { createOutputs } from './outputs.js';
 import type { OutputMode, Outputs } from './outputs.js';
 import { registerPages } from './pages.js';
-import type { SchedulerState } from './scheduler/types.js';
 import { CHAT_SCHEMA, ORDER_SCHEMA } from './schemas.js';
 import type { ChatBody } from './schemas.js';
 import { buildSubmission } from './submission.js';
-import { startEngineSupervisor } from './supervisor.js';
+import { listEngineChildren } from './supervisor.js';
+import type { EngineViews } from './supervisor.js';
 import type { EngineEffect, EngineEvent, EngineOptions, EngineSettings } from './types.js';
+import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
+import type { CommonAdapters } from '../common/daemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
-import type { Listener } from '../common/listener.js';
+import { createView } from '../common/view.js';
 import type { Standin } from '../common/types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { createSystemClock } from '../../core/clock.js';
 import { createId } from '../../core/ids.js';
-import type { Loop } from '../../core/loop/types.js';
 import { createRandomSource } from '../../core/random.js';
-import { createDaemon } from '../../core/supervision/daemon.js';
 
 type Post = (event: EngineEvent) => void;
 
-interface Adapters {
-  readonly outputs: Outputs;
-  readonly exchange: Exchange;
-  readonly listener: Listener;
-}
-
-const performEffect = (effect: EngineEffect, adapters: Adapters, loop: Loop<EngineEvent>): void => {
-  const { outputs, exchange, listener } = adapters;
+const performEffect = (
+  effect: EngineEffect,
+  outputs: Outputs,
+  adapters: CommonAdapters<EngineEvent>,
+): void => {
   switch (effect.kind) {
-    case 'schedule':
-      loop.schedule(effect.delayMs, effect.event);
-      return;
     case 'emit':
       for (const { sequence, index } of effect.tokens) outputs.emit(sequence, index);
       return;
@@ -49,14 +42,12 @@
     case 'break':
       outputs.break(effect.sequence);
       return;
+    case 'answer':
+    case 'drop':
+    case 'schedule':
     case 'crash':
-      listener.crash(effect.downMs);
-      return;
     case 'freeze':
-      listener.freeze(effect.forMs);
-      return;
-    case 'answer':
-      exchange.answer(effect.reply, effect.answer);
+      performCommonEffect(effect, adapters);
       return;
     default:
       assertNever(effect);
@@ -120,52 +111,22 @@
   const random = createRandomSource(settings.seed);
   const listener = createListener();
   const exchange = createExchange();
-  let scheduler: SchedulerState | undefined;
-  let control: ControlState | undefined;
-  const raise = (error: unknown): never => {
-    throw error;
-  };
-  const getScheduler = (): SchedulerState => scheduler ?? raise(new Error('not started'));
-  const getControl = (): ControlState => control ?? raise(new Error('not started'));
+  const views: EngineViews = { scheduler: createView(), control: createView() };
   const outputs = createOutputs({
     model: settings.model,
-    getVersion: () => getScheduler().version,
+    getVersion: () => views.scheduler.get().version,
   });
-  const adapters = { outputs, exchange, listener };
-  const daemon = createDaemon<EngineEvent, EngineEffect>({
-    classify: () => 'control',
-    startRoot: () =>
-      startEngineSupervisor(
-        settings,
-        { now: clock.now, random, createStartId: createId },
-        {
-          scheduler: (state) => {
-            scheduler = state;
-          },
-          control: (state) => {
-            control = state;
-          },
-        },
-        ({ error }) => raise(error),
-      ),
-    perform: (effect) => {
-      performEffect(effect, adapters, daemon.loop);
+  const environment = { now: clock.now, random, createStartId: createId };
+  const daemon = createStandinDaemon<EngineEvent, EngineEffect>({
+    name: 'engine-standin',
+    clock,
+    children: listEngineChildren(settings, environment, views),
+    perform: (effect, loop) => {
+      performEffect(effect, outputs, { exchange, listener, loop });
     },
-    onFault: raise,
   });
-  const post: Post = (event) => {
-    daemon.loop.post(event);
-  };
-  registerChatRoute(listener.app, settings, outputs, post);
-  registerControlRoutes(listener.app, exchange, post);
-  registerPages(listener.app, { getScheduler, getControl }, clock);
-  daemon.start();
-  await listener.open(port);
-  return {
-    url: listener.getUrl(),
-    close: async () => {
-      daemon.stop();
-      await listener.close();
-    },
-  };
+  registerChatRoute(listener.app, settings, outputs, daemon.post);
+  registerControlRoutes(listener.app, exchange, daemon.post);
+  registerPages(listener.app, views, clock);
+  return startStandin(daemon, listener, port);
 };
--- a/packages/standins/engine/types.ts
+++ b/packages/standins/engine/types.ts
@@ -1,6 +1,6 @@
 import type { EngineFault } from './faults.js';
+import type { CommonEffect } from '../common/daemon.js';
 import type { ReplyId } from '../common/exchange.js';
-import type { Answer } from '../common/exchange.js';
 import type { Millis } from '../../core/clock.js';
 
 /** What the engine's health page says. */
@@ -134,7 +134,7 @@
 }
 
 export type EngineEffect =
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EngineEvent }
+  | CommonEffect<EngineEvent>
   | { readonly kind: 'emit'; readonly tokens: readonly EmittedToken[] }
   | {
       readonly kind: 'finish';
@@ -149,7 +149,4 @@
       readonly message: string;
     }
   /** Ends the connection of a generation that the engine lost. */
-  | { readonly kind: 'break'; readonly sequence: SequenceId }
-  | { readonly kind: 'crash'; readonly downMs: Millis }
-  | { readonly kind: 'freeze'; readonly forMs: Millis }
-  | { readonly kind: 'answer'; readonly reply: ReplyId; readonly answer: Answer };
+  | { readonly kind: 'break'; readonly sequence: SequenceId };
--- a/packages/standins/ledger/startLedgerStandin.ts
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -3,7 +3,7 @@
 import { createExecutions } from './book/executions.js';
 import type { Executions } from './book/executions.js';
 import { EXECUTIONS_SCHEMA, EXECUTION_SCHEMA, LEDGER_FAULT_SCHEMA } from './schemas.js';
-import { startLedgerSupervisor } from './supervisor.js';
+import { listLedgerChildren } from './supervisor.js';
 import type {
   ExecutionRoute,
   LedgerCall,
@@ -12,15 +12,13 @@
   LedgerOptions,
   LedgerStandin,
 } from './types.js';
+import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
-import type { Listener } from '../common/listener.js';
-import { assertNever } from '../../core/assertNever.js';
+import { createView } from '../common/view.js';
 import { createSystemClock } from '../../core/clock.js';
 import { createId } from '../../core/ids.js';
-import type { Loop } from '../../core/loop/types.js';
-import { createDaemon } from '../../core/supervision/daemon.js';
 
 type Post = (event: LedgerEvent) => void;
 
@@ -28,33 +26,6 @@
 
 const EXECUTION_ROUTES: readonly ExecutionRoute[] = ['sweeps', 'pickups', 'credits'];
 
-const performEffect = (
-  effect: LedgerEffect,
-  exchange: Exchange,
-  listener: Listener,
-  loop: Loop<LedgerEvent>,
-): void => {
-  switch (effect.kind) {
-    case 'answer':
-      exchange.answer(effect.reply, effect.answer);
-      return;
-    case 'drop':
-      exchange.drop(effect.reply);
-      return;
-    case 'schedule':
-      loop.schedule(effect.delayMs, effect.event);
-      return;
-    case 'crash':
-      listener.crash(effect.downMs);
-      return;
-    case 'freeze':
-      listener.freeze(effect.forMs);
-      return;
-    default:
-      assertNever(effect);
-  }
-};
-
 const readExecution = (request: FastifyRequest, route: ExecutionRoute): LedgerCall => {
   const body = EXECUTION_SCHEMA.parse(request.body);
   const header = request.headers['idempotency-key'];
@@ -112,50 +83,29 @@
 export const startLedgerStandin = async (options: LedgerOptions = {}): Promise<LedgerStandin> => {
   const exchange = createExchange();
   const executions = createExecutions();
-  const service = createListener();
+  const listener = createListener();
   const inspection = createListener();
-  let book: BookState | undefined;
-  const raise = (error: unknown): never => {
-    throw error;
-  };
-  const getBook = (): BookState => book ?? raise(new Error('not started'));
-  const environment = {
-    executions,
-    callMs: options.callMs ?? DEFAULT_CALL_MS,
-    createStartId: createId,
-  };
-  const daemon = createDaemon<LedgerEvent, LedgerEffect>({
-    classify: () => 'control',
-    startRoot: () =>
-      startLedgerSupervisor(
-        environment,
-        createSystemClock(),
-        (state) => {
-          book = state;
-        },
-        ({ error }) => raise(error),
-      ),
-    perform: (effect) => {
-      performEffect(effect, exchange, service, daemon.loop);
+  const book = createView<BookState>();
+  const callMs = options.callMs ?? DEFAULT_CALL_MS;
+  const environment = { executions, callMs, createStartId: createId };
+  const daemon = createStandinDaemon<LedgerEvent, LedgerEffect>({
+    name: 'ledger-standin',
+    clock: createSystemClock(),
+    children: listLedgerChildren(environment, book.publish),
+    perform: (effect, loop) => {
+      performCommonEffect(effect, { exchange, listener, loop });
     },
-    onFault: raise,
   });
-  const post: Post = (event) => {
-    daemon.loop.post(event);
-  };
-  registerServiceRoutes(service.app, exchange, post, getBook);
-  registerInspectionRoutes(inspection.app, executions, post, getBook);
-  daemon.start();
-  await Promise.all([
-    service.open(options.port ?? 0),
-    inspection.open(options.inspectionPort ?? 0),
-  ]);
+  registerServiceRoutes(listener.app, exchange, daemon.post, book.get);
+  registerInspectionRoutes(inspection.app, executions, daemon.post, book.get);
+  const service = await startStandin(daemon, listener, options.port ?? 0);
+  await inspection.open(options.inspectionPort ?? 0);
   return {
-    url: service.getUrl(),
+    url: service.url,
     inspectionUrl: inspection.getUrl(),
     close: async () => {
-      daemon.stop();
-      await Promise.all([service.close(), inspection.close()]);
+      await service.close();
+      await inspection.close();
     },
   };
 };
--- a/packages/standins/ledger/types.ts
+++ b/packages/standins/ledger/types.ts
@@ -1,3 +1,4 @@
+import type { CommonEffect } from '../common/daemon.js';
 import type { Answer, ReplyId } from '../common/exchange.js';
 import type { Standin } from '../common/types.js';
 import type { Millis } from '../../core/clock.js';
@@ -44,12 +45,7 @@
   | { readonly kind: 'apply-fault'; readonly fault: LedgerFault }
 );
 
-export type LedgerEffect =
-  | { readonly kind: 'answer'; readonly reply: ReplyId; readonly answer: Answer }
-  | { readonly kind: 'drop'; readonly reply: ReplyId }
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: LedgerEvent }
-  | { readonly kind: 'crash'; readonly downMs: Millis }
-  | { readonly kind: 'freeze'; readonly forMs: Millis };
+export type LedgerEffect = CommonEffect<LedgerEvent>;
 
 export interface LedgerOptions {
   /** Port of the service on 127.0.0.1; 0 picks a free one. */
--- a/packages/standins/platform/startPlatformStandin.ts
+++ b/packages/standins/platform/startPlatformStandin.ts
@@ -1,39 +1,17 @@
 import type { FastifyInstance } from 'fastify';
 import { DEFAULT_PLATFORM_SETTINGS } from './constants.js';
 import { APPEND_SCHEMA, INSTANCE_SCHEMA, PLATFORM_FAULTS_SCHEMA, READ_SCHEMA } from './schemas.js';
-import { startPlatformSupervisor } from './supervisor.js';
+import { listPlatformChildren } from './supervisor.js';
 import type { PlatformEffect, PlatformEvent, PlatformOptions } from './types.js';
+import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
 import type { Standin } from '../common/types.js';
-import { assertNever } from '../../core/assertNever.js';
 import { createSystemClock } from '../../core/clock.js';
-import type { Loop } from '../../core/loop/types.js';
-import { createDaemon } from '../../core/supervision/daemon.js';
 
 type Post = (event: PlatformEvent) => void;
 
-const performEffect = (
-  effect: PlatformEffect,
-  exchange: Exchange,
-  loop: Loop<PlatformEvent>,
-): void => {
-  switch (effect.kind) {
-    case 'answer':
-      exchange.answer(effect.reply, effect.answer);
-      return;
-    case 'drop':
-      exchange.drop(effect.reply);
-      return;
-    case 'schedule':
-      loop.schedule(effect.delayMs, effect.event);
-      return;
-    default:
-      assertNever(effect);
-  }
-};
-
 const registerLogRoutes = (app: FastifyInstance, exchange: Exchange, post: Post): void => {
   app.post<{ Params: { stream: string } }>('/streams/:stream/records', async (request, reply) => {
     const { records } = APPEND_SCHEMA.parse(request.body);
@@ -98,30 +76,16 @@
   const clock = createSystemClock();
   const exchange = createExchange();
   const listener = createListener();
-  const raise = (error: unknown): never => {
-    throw error;
-  };
-  const daemon = createDaemon<PlatformEvent, PlatformEffect>({
-    classify: () => 'control',
-    startRoot: () => startPlatformSupervisor(settings, clock, ({ error }) => raise(error)),
-    perform: (effect) => {
-      performEffect(effect, exchange, daemon.loop);
+  const daemon = createStandinDaemon<PlatformEvent, PlatformEffect>({
+    name: 'platform-standin',
+    clock,
+    children: listPlatformChildren(settings, clock),
+    perform: (effect, loop) => {
+      performCommonEffect(effect, { exchange, listener, loop });
     },
-    onFault: raise,
   });
-  const post: Post = (event) => {
-    daemon.loop.post(event);
-  };
-  registerLogRoutes(listener.app, exchange, post);
-  registerInstanceRoutes(listener.app, exchange, post);
-  registerOtherRoutes(listener.app, exchange, post);
-  daemon.start();
-  await listener.open(port);
-  return {
-    url: listener.getUrl(),
-    close: async () => {
-      daemon.stop();
-      await listener.close();
-    },
-  };
+  registerLogRoutes(listener.app, exchange, daemon.post);
+  registerInstanceRoutes(listener.app, exchange, daemon.post);
+  registerOtherRoutes(listener.app, exchange, daemon.post);
+  return startStandin(daemon, listener, port);
 };
--- a/packages/standins/platform/types.ts
+++ b/packages/standins/platform/types.ts
@@ -1,4 +1,5 @@
-import type { Answer, ReplyId } from '../common/exchange.js';
+import type { CommonEffect } from '../common/daemon.js';
+import type { ReplyId } from '../common/exchange.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 
@@ -81,10 +82,7 @@
   | ({ readonly to: 'instances' } & (InstancesEvent | FaultsEvent))
   | ({ readonly to: 'weights' } & WeightsEvent);
 
-export type PlatformEffect =
-  | { readonly kind: 'answer'; readonly reply: ReplyId; readonly answer: Answer }
-  | { readonly kind: 'drop'; readonly reply: ReplyId }
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: PlatformEvent };
+export type PlatformEffect = CommonEffect<PlatformEvent>;
 
 export interface PlatformOptions {
   /** Port on 127.0.0.1; 0 picks a free one. */
