--- /dev/null
+++ b/packages/standins/engine/scheduler/stepping.ts
@@ -0,0 +1,116 @@
+import { countUsedTokens, planStep, settleStep } from './batch.js';
+import { addStats, recordCacheChanges } from './state.js';
+import type { SchedulerStep } from './state.js';
+import type { SchedulerEnvironment, SchedulerState } from './types.js';
+import { MAX_TIMER_LAG_MS } from '../constants.js';
+import { computeSlowFactor } from '../faults.js';
+import type { EngineEffect, Sequence } from '../types.js';
+import type { Millis } from '../../../core/clock.js';
+import { toStep } from '../../../core/step.js';
+
+const computeStepMs = (state: SchedulerState, durationMs: Millis, now: Millis): Millis => {
+  const collapse = now < state.collapsedUntil ? state.settings.collapseFactor : 1;
+  return durationMs * collapse * computeSlowFactor(state.faults, now);
+};
+
+/**
+ * Finds the instant from which the next step counts: the planned end of the last one, so that late
+ * timers do not add up, unless the process was held up for longer.
+ */
+const findStepStart = ({ phase }: SchedulerState, now: Millis): Millis =>
+  phase.kind === 'stepping' && now - phase.dueAt < MAX_TIMER_LAG_MS ? phase.dueAt : now;
+
+/**
+ * Begins the next step, or goes idle when nothing runs.
+ *
+ * @param state - engine between two steps
+ * @param environment - time and chance
+ * @returns the engine in its step, with the timer of its end
+ */
+export const startStep = (
+  state: SchedulerState,
+  environment: SchedulerEnvironment,
+): SchedulerStep => {
+  const now = environment.now();
+  const plan = planStep(state.batch, state.settings, now);
+  const running = plan.batch.running.length;
+  const used = countUsedTokens(plan.batch.running) / state.settings.memoryTokens;
+  const counted = addStats(
+    { ...state, batch: plan.batch },
+    {
+      preemptions: state.stats.preemptions + plan.preempted.length,
+      maxRunning: Math.max(state.stats.maxRunning, running),
+      maxMemoryShare: Math.max(state.stats.maxMemoryShare, used),
+    },
+  );
+  const next = recordCacheChanges(counted, plan.changes, environment);
+  if (running === 0) return toStep({ ...next, phase: { kind: 'idle' } });
+  const number = state.steps + 1;
+  const dueAt = findStepStart(state, now) + computeStepMs(state, plan.durationMs, now);
+  return toStep<SchedulerState, EngineEffect>(
+    { ...next, steps: number, phase: { kind: 'stepping', number, dueAt } },
+    {
+      kind: 'schedule',
+      delayMs: dueAt - now,
+      event: { to: 'scheduler', kind: 'step-due', step: number },
+    },
+  );
+};
+
+const toFinish = (sequence: Sequence): EngineEffect => ({
+  kind: 'finish',
+  sequence: sequence.id,
+  reason: sequence.generated < sequence.targetTokens ? 'length' : sequence.finishReason,
+  usage: {
+    promptTokens: sequence.promptTokens,
+    completionTokens: sequence.generated,
+    cachedTokens: sequence.cachedTokens,
+  },
+});
+
+/**
+ * Ends a step: sends its tokens and begins the next one.
+ *
+ * @param state - engine in a step
+ * @param step - number of the step that is due; another than the current one is ignored
+ * @param environment - time and chance
+ * @returns the engine after the step, with tokens and ends of generations
+ */
+export const handleStepDue = (
+  state: SchedulerState,
+  step: number,
+  environment: SchedulerEnvironment,
+): SchedulerStep => {
+  if (state.phase.kind !== 'stepping' || state.phase.number !== step) return toStep(state);
+  const now = environment.now();
+  if (now < state.frozenUntil) {
+    return toStep(state, {
+      kind: 'schedule',
+      delayMs: state.frozenUntil - now,
+      event: { to: 'scheduler', kind: 'step-due', step },
+    });
+  }
+  const settled = settleStep(state.batch, state.settings, now);
+  const counted = addStats(
+    { ...state, batch: settled.batch },
+    {
+      tokens: state.stats.tokens + settled.emitted.length,
+      finished: state.stats.finished + settled.finished.length,
+      stalledMs: state.stats.stalledMs + settled.stalledMs,
+    },
+  );
+  const following = startStep(
+    recordCacheChanges(counted, settled.changes, environment),
+    environment,
+  );
+  const tokens = settled.emitted.map(({ id, generated }) => ({
+    sequence: id,
+    index: generated - 1,
+  }));
+  return toStep(
+    following.state,
+    { kind: 'emit', tokens },
+    ...settled.finished.map(toFinish),
+    ...following.effects,
+  );
+};
--- a/packages/standins/engine/scheduler/types.ts
+++ b/packages/standins/engine/scheduler/types.ts
@@ -45,7 +45,8 @@
 }
 
 export type StepPhase =
-  { readonly kind: 'idle' } | { readonly kind: 'stepping'; readonly number: number };
+  | { readonly kind: 'idle' }
+  | { readonly kind: 'stepping'; readonly number: number; readonly dueAt: Millis };
 
 /** State of the engine: its identity, its batch and its faults. */
 export interface SchedulerState {
