--- /dev/null
+++ b/packages/endpoint/engine/engine.ts
@@ -0,0 +1,360 @@
+import { ENGINE_POLL_MS } from './constants.js';
+import { addOutcome } from './evidence.js';
+import type { SlowThresholds } from './evidence.js';
+import { applyCacheEvents, createPrefixSketch } from './prefixSketch.js';
+import type { EngineState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { VersionName } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { decideAdmit } from '../../decisions/admission/decideAdmit.js';
+import { createAdmissionState, decideLimit } from '../../decisions/admission/decideLimit.js';
+import type {
+  AdmissionContext,
+  AdmissionEffect,
+  AdmissionEvent,
+  AdmissionRequest,
+} from '../../decisions/admission/types.js';
+import type { ClassTargets } from '../../decisions/placement/types.js';
+import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
+import type {
+  EndpointEffect,
+  EngineEvent,
+  EngineHealth,
+  EngineLoad,
+  GenerateCall,
+  ServiceCall,
+  WorkOutcome,
+  WorkResult,
+} from '../types.js';
+
+export interface EngineInputs {
+  readonly now: () => Millis;
+  readonly target: 'model' | 'service';
+  readonly version: VersionName;
+  readonly admission: AdmissionContext['settings'];
+  /** Length estimates, learned from this endpoint's own generations. */
+  readonly survival: SurvivalTable;
+  readonly findTargets: (className: string, importance: string) => ClassTargets;
+  readonly findThresholds: (className: string) => SlowThresholds | undefined;
+}
+
+type EngineStep = Step<EngineState, EndpointEffect>;
+
+const POLL: EndpointEffect = {
+  kind: 'schedule',
+  delayMs: ENGINE_POLL_MS,
+  event: { to: 'engine', kind: 'poll' },
+};
+
+const toContext = (inputs: EngineInputs): AdmissionContext => ({
+  settings: inputs.admission,
+  survival: inputs.survival,
+});
+
+const fetchLoad = (inputs: EngineInputs): EndpointEffect =>
+  inputs.target === 'model' ? { kind: 'fetch-load' } : { kind: 'fetch-health' };
+
+const toEndpointEffects = (
+  effect: AdmissionEffect,
+  inputs: EngineInputs,
+): readonly EndpointEffect[] => {
+  switch (effect.kind) {
+    case 'limit-changed': {
+      const { limit, phase, cause } = effect;
+      return [{ kind: 'log', name: 'limit-changed', details: { data: { limit, phase, cause } } }];
+    }
+    case 'read-load':
+      return [fetchLoad(inputs)];
+    case 'sequences-lost':
+      return [
+        {
+          kind: 'log',
+          name: 'engine-restarted',
+          details: { data: { lost: effect.requestIds.length } },
+        },
+      ];
+    default:
+      return assertNever(effect);
+  }
+};
+
+const applyAdmission = (
+  state: EngineState,
+  event: AdmissionEvent,
+  inputs: EngineInputs,
+): EngineStep => {
+  const step = decideLimit(state.admission, event, toContext(inputs));
+  const effects = step.effects.flatMap((effect) => toEndpointEffects(effect, inputs));
+  return toStep({ ...state, admission: step.state }, ...effects);
+};
+
+const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep => {
+  const now = inputs.now();
+  const next: EngineState = { ...state, reach: 'reached', load, loadAt: now - load.ageMs };
+  return applyAdmission(
+    next,
+    {
+      kind: 'load-read',
+      identity: load.startId,
+      memory: {
+        usedTokens: load.memoryUsedTokens,
+        totalTokens: load.memoryTotalTokens,
+        tokensPerSecond: load.tokensPerSecond,
+        preemptions: load.preemptions,
+      },
+      generated: state.generated,
+      now,
+    },
+    inputs,
+  );
+};
+
+/** A plain service has no load page; what runs there is what this daemon started. */
+const toServiceLoad = (state: EngineState, health: EngineHealth): EngineLoad => ({
+  startId: health.startId,
+  running: state.admission.running.size,
+  waiting: 0,
+  memoryUsedTokens: 0,
+  memoryTotalTokens: 0,
+  tokensPerSecond: 0,
+  preemptions: 0,
+  ageMs: 0,
+});
+
+const applyHealth = (
+  state: EngineState,
+  health: EngineHealth,
+  inputs: EngineInputs,
+): EngineStep => {
+  const next = { ...state, reach: 'reached', health } as const;
+  if (health.status !== 'ready') {
+    return applyAdmission(next, { kind: 'engine-unreachable', now: inputs.now() }, inputs);
+  }
+  return inputs.target === 'service'
+    ? applyLoad(next, toServiceLoad(next, health), inputs)
+    : toStep(next);
+};
+
+const applyUnreachable = (state: EngineState, reason: string, inputs: EngineInputs): EngineStep => {
+  const step = applyAdmission(
+    { ...state, reach: 'unreachable', health: null },
+    { kind: 'engine-unreachable', now: inputs.now() },
+    inputs,
+  );
+  // The next poll asks again; an immediate question would turn an outage into a busy loop.
+  const effects = step.effects.filter(
+    ({ kind }) => kind !== 'fetch-load' && kind !== 'fetch-health',
+  );
+  if (state.reach === 'unreachable') return toStep(step.state, ...effects);
+  return toStep(step.state, ...effects, {
+    kind: 'log',
+    name: 'engine-unreachable',
+    details: { data: { reason } },
+  });
+};
+
+const checkReady = (state: EngineState): Failure | null => {
+  if (state.reach === 'reached' && state.health?.status === 'ready') return null;
+  return createFailure('not-run', 'overloaded', 'the endpoint is not ready', ENGINE_POLL_MS);
+};
+
+const admitWork = (
+  state: EngineState,
+  request: AdmissionRequest,
+  inputs: EngineInputs,
+): { readonly failure: Failure } | EngineStep => {
+  const notReady = checkReady(state);
+  if (notReady !== null) return { failure: notReady };
+  const decision = decideAdmit(state.admission, request, toContext(inputs));
+  switch (decision.kind) {
+    case 'refuse':
+      return { failure: decision.failure };
+    case 'admit':
+      return applyAdmission(state, { kind: 'admitted', request, now: inputs.now() }, inputs);
+    default:
+      return assertNever(decision);
+  }
+};
+
+const logRefusal = (call: GenerateCall | ServiceCall, failure: Failure): EndpointEffect => ({
+  kind: 'log',
+  name: 'work-refused',
+  details: { requestId: call.requestId, data: { code: failure.code, message: failure.message } },
+});
+
+const admitGeneration = (
+  state: EngineState,
+  call: GenerateCall,
+  inputs: EngineInputs,
+): EngineStep => {
+  const request: AdmissionRequest = {
+    requestId: call.generationId,
+    targets: inputs.findTargets(call.className, call.importance),
+    customer: call.customer,
+    version: inputs.version,
+    promptTokens: call.promptTokens,
+  };
+  const outcome = admitWork(state, request, inputs);
+  if ('failure' in outcome) {
+    const { failure } = outcome;
+    const refused: EndpointEffect = { kind: 'send-failure', callId: call.callId, failure };
+    return toStep(state, refused, logRefusal(call, failure));
+  }
+  return toStep(outcome.state, ...outcome.effects, {
+    kind: 'post',
+    event: { to: 'streams', kind: 'open', call },
+  });
+};
+
+const admitCall = (state: EngineState, call: ServiceCall, inputs: EngineInputs): EngineStep => {
+  const request: AdmissionRequest = {
+    requestId: call.callId,
+    targets: inputs.findTargets(call.className, call.importance),
+    customer: call.customer,
+    version: inputs.version,
+    promptTokens: 0,
+  };
+  const outcome = admitWork(state, request, inputs);
+  if ('failure' in outcome) {
+    const { failure } = outcome;
+    const refused: EndpointEffect = { kind: 'reply-failure', callId: call.callId, failure };
+    return toStep(state, refused, logRefusal(call, failure));
+  }
+  return toStep(outcome.state, ...outcome.effects, {
+    kind: 'post',
+    event: { to: 'calls', kind: 'open', call },
+  });
+};
+
+/** An error answer shows that the engine lives; only a broken connection puts that in doubt. */
+const toEndReason = (result: WorkResult): 'finished' | 'cancelled' | 'engine-failed' => {
+  switch (result) {
+    case 'success':
+      return 'finished';
+    case 'lost':
+      return 'engine-failed';
+    case 'failure':
+    case 'cancelled':
+      return 'cancelled';
+    default:
+      return assertNever(result);
+  }
+};
+
+const observeLength = (outcome: WorkOutcome, inputs: EngineInputs): void => {
+  if (inputs.target === 'service') return;
+  const key = {
+    className: outcome.className,
+    customer: outcome.customer,
+    version: inputs.version,
+  };
+  const tokens = outcome.tokenGaps + (outcome.firstTokenMs === null ? 0 : 1);
+  if (outcome.result === 'success') inputs.survival.observeFinished(key, tokens);
+  else inputs.survival.observeCensored(key, tokens);
+};
+
+const closeWork = (state: EngineState, outcome: WorkOutcome, inputs: EngineInputs): EngineStep => {
+  observeLength(outcome, inputs);
+  state.generated.delete(outcome.workId);
+  const thresholds = inputs.findThresholds(outcome.className);
+  return applyAdmission(
+    { ...state, evidence: addOutcome(state.evidence, outcome, thresholds) },
+    {
+      kind: 'sequence-ended',
+      requestId: outcome.workId,
+      reason: toEndReason(outcome.result),
+      now: inputs.now(),
+    },
+    inputs,
+  );
+};
+
+const applyTokens = (
+  state: EngineState,
+  event: Extract<EngineEvent, { readonly kind: 'tokens-received' }>,
+  inputs: EngineInputs,
+): EngineStep => {
+  const { workId, tokens, gapMs } = event;
+  state.generated.set(workId, (state.generated.get(workId) ?? 0) + tokens);
+  return applyAdmission(
+    state,
+    { kind: 'tokens-received', requestId: workId, tokens, gapMs, now: inputs.now() },
+    inputs,
+  );
+};
+
+const pollEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
+  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, POLL);
+  return toStep<EngineState, EndpointEffect>(
+    state,
+    { kind: 'fetch-health' },
+    { kind: 'fetch-load' },
+    { kind: 'fetch-cache-events', from: state.sketch.next },
+    POLL,
+  );
+};
+
+/** The data centre came back: the endpoint counts as cold, since its cache may be. */
+const restartRamp = (state: EngineState, inputs: EngineInputs): EngineStep => {
+  const admission = { ...createAdmissionState(inputs.now()), running: state.admission.running };
+  return toStep({ ...state, admission }, fetchLoad(inputs));
+};
+
+const decideEngine = (state: EngineState, event: EngineEvent, inputs: EngineInputs): EngineStep => {
+  switch (event.kind) {
+    case 'poll':
+      return pollEngine(state, inputs);
+    case 'health-received':
+      return applyHealth(state, event.health, inputs);
+    case 'health-failed':
+      return applyUnreachable(state, event.reason, inputs);
+    case 'load-received':
+      return applyLoad(state, event.load, inputs);
+    case 'cache-events-received':
+      return toStep({ ...state, sketch: applyCacheEvents(state.sketch, event.events, event.next) });
+    case 'admit-generation':
+      return admitGeneration(state, event.call, inputs);
+    case 'admit-call':
+      return admitCall(state, event.call, inputs);
+    case 'tokens-received':
+      return applyTokens(state, event, inputs);
+    case 'work-ended':
+      return closeWork(state, event.outcome, inputs);
+    case 'restart-ramp':
+      return restartRamp(state, inputs);
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the decisions of the `engine` child: what is known of the endpoint, and how much it is
+ * given.
+ *
+ * @param inputs - clock, settings and class targets
+ * @returns the child's logic
+ */
+export const createEngineLogic = (
+  inputs: EngineInputs,
+): ChildLogic<EngineState, EngineEvent, EndpointEffect> => ({
+  init: () =>
+    toStep<EngineState, EndpointEffect>(
+      {
+        reach: 'unknown',
+        health: null,
+        load: null,
+        loadAt: 0,
+        admission: createAdmissionState(inputs.now()),
+        generated: new Map(),
+        sketch: createPrefixSketch(),
+        evidence: new Map(),
+      },
+      { kind: 'post', event: { to: 'engine', kind: 'poll' } },
+    ),
+  decide: (state, event) => decideEngine(state, event, inputs),
+});
--- /dev/null
+++ b/packages/endpoint/rpc/gate.ts
@@ -0,0 +1,129 @@
+import { DRAIN_CHECK_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { Incarnation } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { checkNewWork } from '../../decisions/membership/lease.js';
+import type { LeaseState } from '../../decisions/membership/leaseTypes.js';
+import { MESSAGE_FORMAT } from '../../wire/constants.js';
+import type { EndpointEffect, GenerateCall, RpcEvent, ServiceCall } from '../types.js';
+
+export type GateState =
+  | { readonly phase: 'accepting' }
+  | { readonly phase: 'draining'; readonly since: Millis }
+  | { readonly phase: 'ended' };
+
+/** What the gate knows of the other children. */
+export interface GateInputs {
+  readonly now: () => Millis;
+  readonly drainMs: Millis;
+  readonly getLease: () => LeaseState;
+  /** Streams and calls that are not at their end. */
+  readonly countOpenWork: () => number;
+}
+
+type GateStep = Step<GateState, EndpointEffect>;
+
+const checkFormat = (format: number): Failure | null => {
+  if (format === MESSAGE_FORMAT) return null;
+  const text = `message format ${format.toString()} is unknown; this process reads ${MESSAGE_FORMAT.toString()}`;
+  return createFailure('not-run', 'unsupported-format', text);
+};
+
+const checkStart = (
+  state: GateState,
+  incarnation: Incarnation,
+  inputs: GateInputs,
+): Failure | null => {
+  if (state.phase !== 'accepting') {
+    return createFailure('not-run', 'draining', 'the endpoint is leaving');
+  }
+  return checkNewWork(inputs.getLease(), incarnation, inputs.now());
+};
+
+const checkGenerate = (
+  state: GateState,
+  call: GenerateCall,
+  inputs: GateInputs,
+): Failure | null => {
+  const format = checkFormat(call.format);
+  if (format !== null) return format;
+  if (call.mode === 'start') return checkStart(state, call.incarnation, inputs);
+  if (call.incarnation === inputs.getLease().incarnation) return null;
+  // A generation of an earlier incarnation ran and is lost.
+  return createFailure('may-have-run', 'stream-lost', 'the endpoint daemon started again');
+};
+
+const handleGenerate = (
+  state: GateState,
+  call: GenerateCall,
+  inputs: GateInputs,
+): EndpointEffect => {
+  const failure = checkGenerate(state, call, inputs);
+  if (failure !== null) return { kind: 'send-failure', callId: call.callId, failure };
+  // Only a start needs admission; a resume reads what is buffered.
+  return call.mode === 'start'
+    ? { kind: 'post', event: { to: 'engine', kind: 'admit-generation', call } }
+    : { kind: 'post', event: { to: 'streams', kind: 'open', call } };
+};
+
+const handleCall = (state: GateState, call: ServiceCall, inputs: GateInputs): EndpointEffect => {
+  const failure = checkFormat(call.format) ?? checkStart(state, call.incarnation, inputs);
+  if (failure !== null) return { kind: 'reply-failure', callId: call.callId, failure };
+  return { kind: 'post', event: { to: 'engine', kind: 'admit-call', call } };
+};
+
+const startDrain = (state: GateState, reason: string, now: Millis): GateStep => {
+  if (state.phase !== 'accepting') return toStep(state);
+  return toStep<GateState, EndpointEffect>(
+    { phase: 'draining', since: now },
+    { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
+    // The change is told at once; the next regular heartbeat may be half a second away.
+    { kind: 'post', event: { to: 'heartbeats', kind: 'beat' } },
+    { kind: 'schedule', delayMs: DRAIN_CHECK_MS, event: { to: 'rpc', kind: 'drain-checked' } },
+  );
+};
+
+const checkDrain = (state: GateState, inputs: GateInputs): GateStep => {
+  if (state.phase !== 'draining') return toStep(state);
+  const left = inputs.countOpenWork();
+  const isOver = inputs.now() - state.since >= inputs.drainMs;
+  if (left > 0 && !isOver) {
+    return toStep<GateState, EndpointEffect>(state, {
+      kind: 'schedule',
+      delayMs: DRAIN_CHECK_MS,
+      event: { to: 'rpc', kind: 'drain-checked' },
+    });
+  }
+  return toStep<GateState, EndpointEffect>({ phase: 'ended' }, { kind: 'end-process', left });
+};
+
+/**
+ * Creates the decisions of the `rpc` child: which calls of entry daemons are let in, and the drain.
+ *
+ * @param inputs - identity and views of the other children
+ * @returns the child's logic
+ */
+export const createGateLogic = (
+  inputs: GateInputs,
+): ChildLogic<GateState, RpcEvent, EndpointEffect> => ({
+  init: () => toStep<GateState, EndpointEffect>({ phase: 'accepting' }),
+  decide: (state, event) => {
+    switch (event.kind) {
+      case 'generate-requested':
+        return toStep(state, handleGenerate(state, event.call, inputs));
+      case 'call-requested':
+        return toStep(state, handleCall(state, event.call, inputs));
+      case 'drain-started':
+        return startDrain(state, event.reason, inputs.now());
+      case 'drain-checked':
+        return checkDrain(state, inputs);
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/endpoint/streams/streams.ts
@@ -0,0 +1,395 @@
+import { PROGRESS_REPORT_MS, SWEEP_MS } from './constants.js';
+import type { Generation, ReaderLink, StreamsState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { GenerationId } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { decideBuffer, initBuffer } from '../../decisions/streams/buffer.js';
+import type {
+  BufferEffect,
+  BufferEvent,
+  BufferLimits,
+  ReaderIdentity,
+} from '../../decisions/streams/bufferTypes.js';
+import type {
+  CallId,
+  EndpointEffect,
+  GenerateCall,
+  StreamsEvent,
+  WorkOutcome,
+  WorkResult,
+} from '../types.js';
+
+export interface StreamsInputs {
+  readonly now: () => Millis;
+  readonly limits: BufferLimits;
+}
+
+type StreamsStep = Step<StreamsState, EndpointEffect>;
+
+const toReaderKey = ({ stream, link }: ReaderIdentity): string => `${stream}/${link.toString()}`;
+
+const refuseCall = (call: GenerateCall, failure: Failure): readonly EndpointEffect[] => [
+  { kind: 'send-failure', callId: call.callId, failure },
+  {
+    kind: 'log',
+    name: 'work-refused',
+    details: {
+      requestId: call.requestId,
+      received: call.callId,
+      data: { code: failure.code, verdict: failure.verdict },
+    },
+  },
+];
+
+const registerReader = (state: StreamsState, call: GenerateCall): ReaderIdentity => {
+  const identity = { stream: call.stream, link: call.link };
+  const link: ReaderLink = { generationId: call.generationId, ...identity };
+  state.readers.set(call.callId, link);
+  state.calls.set(toReaderKey(identity), call.callId);
+  return identity;
+};
+
+const removeReader = (state: StreamsState, callId: CallId): ReaderLink | undefined => {
+  const link = state.readers.get(callId);
+  if (link === undefined) return undefined;
+  state.readers.delete(callId);
+  state.calls.delete(toReaderKey(link));
+  return link;
+};
+
+const describeOutcome = (generation: Generation, result: WorkOutcome['result']): EndpointEffect => {
+  const { call, startedAt, firstChunkAt, lastChunkAt, chunkCount } = generation;
+  const outcome: WorkOutcome = {
+    workId: call.generationId,
+    customer: call.customer,
+    route: call.route,
+    className: call.className,
+    result,
+    firstTokenMs: firstChunkAt === null ? null : firstChunkAt - startedAt,
+    tokenGapMsSum: firstChunkAt === null ? 0 : (lastChunkAt ?? firstChunkAt) - firstChunkAt,
+    tokenGaps: Math.max(0, chunkCount - 1),
+  };
+  return { kind: 'post', event: { to: 'engine', kind: 'work-ended', outcome } };
+};
+
+/** Translates the buffer's effects; a reader whose call is gone gets nothing. */
+const toEndpointEffects = (
+  state: StreamsState,
+  generationId: GenerationId,
+  effect: BufferEffect,
+): readonly EndpointEffect[] => {
+  switch (effect.kind) {
+    case 'send-chunks': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      const { firstNumber, chunks } = effect;
+      return [{ kind: 'send-chunks', callId, firstNumber, choices: chunks }];
+    }
+    case 'send-finished': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      const { chunkCount, usage } = effect;
+      return [{ kind: 'send-finished', callId, chunkCount, usage }];
+    }
+    case 'send-failed': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      return [{ kind: 'send-failure', callId, failure: effect.failure }];
+    }
+    case 'pause-engine':
+      return [{ kind: 'set-engine-flow', generationId, flow: 'paused' }];
+    case 'continue-engine':
+      return [{ kind: 'set-engine-flow', generationId, flow: 'flowing' }];
+    case 'cancel-engine': {
+      const generation = state.generations.get(generationId);
+      const ended = generation === undefined ? [] : [describeOutcome(generation, 'cancelled')];
+      return [
+        { kind: 'cancel-generation', generationId },
+        ...ended,
+        {
+          kind: 'log',
+          name: 'generation-cancelled',
+          details: {
+            requestId: generation?.call.requestId ?? '',
+            data: { generationId },
+          },
+        },
+      ];
+    }
+    case 'release':
+      state.generations.delete(generationId);
+      return [];
+    default:
+      return assertNever(effect);
+  }
+};
+
+const isRunning = (generation: Generation): boolean => generation.buffer.phase === 'generating';
+
+const applyBuffer = (
+  state: StreamsState,
+  generation: Generation,
+  event: BufferEvent,
+): readonly EndpointEffect[] => {
+  const { generationId } = generation.call;
+  const step = decideBuffer(generation.buffer, event);
+  const next = { ...generation, buffer: step.state };
+  state.generations.set(generationId, next);
+  if (isRunning(generation) && !isRunning(next)) state.running -= 1;
+  return step.effects.flatMap((effect) => toEndpointEffects(state, generationId, effect));
+};
+
+const startGeneration = (
+  state: StreamsState,
+  call: GenerateCall,
+  inputs: StreamsInputs,
+): readonly EndpointEffect[] => {
+  const now = inputs.now();
+  const generation: Generation = {
+    call,
+    buffer: initBuffer(now, inputs.limits),
+    startedAt: now,
+    firstChunkAt: null,
+    lastChunkAt: null,
+    chunkCount: 0,
+    reportedAt: null,
+    reportedCount: 0,
+  };
+  state.generations.set(call.generationId, generation);
+  state.running += 1;
+  return [
+    { kind: 'start-generation', generationId: call.generationId, call },
+    {
+      kind: 'log',
+      name: 'generation-started',
+      details: {
+        requestId: call.requestId,
+        received: `${call.generationId}/${call.link.toString()}`,
+        data: { generationId: call.generationId, running: state.running },
+      },
+    },
+    ...openReader(state, generation, call, now),
+  ];
+};
+
+const openReader = (
+  state: StreamsState,
+  generation: Generation,
+  call: GenerateCall,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const identity = registerReader(state, call);
+  const opened = applyBuffer(state, generation, {
+    kind: 'reader-opened',
+    ...identity,
+    fromNumber: call.resumeFrom,
+    now,
+  });
+  return [{ kind: 'send-started', callId: call.callId }, ...opened];
+};
+
+const openCall = (
+  state: StreamsState,
+  call: GenerateCall,
+  inputs: StreamsInputs,
+): readonly EndpointEffect[] => {
+  const known = state.generations.get(call.generationId);
+  if (known !== undefined) {
+    const resumed: EndpointEffect = {
+      kind: 'log',
+      name: 'stream-resumed',
+      details: {
+        requestId: call.requestId,
+        received: `${call.generationId}/${call.link.toString()}`,
+        data: { generationId: call.generationId, fromNumber: call.resumeFrom },
+      },
+    };
+    return [resumed, ...openReader(state, known, call, inputs.now())];
+  }
+  if (call.mode === 'resume') {
+    const text = `generation ${call.generationId} is not held here any more`;
+    return refuseCall(call, createFailure('may-have-run', 'stream-lost', text));
+  }
+  return startGeneration(state, call, inputs);
+};
+
+/** Reports progress now and then only: the limit needs means, not every token. */
+const describeProgress = (generation: Generation, now: Millis): EndpointEffect | null => {
+  const { call, firstChunkAt, reportedAt, reportedCount, chunkCount } = generation;
+  const since = reportedAt ?? firstChunkAt ?? now;
+  const tokens = chunkCount - reportedCount;
+  if (now - since < PROGRESS_REPORT_MS || tokens < 1) return null;
+  const event = {
+    to: 'engine',
+    kind: 'tokens-received',
+    workId: call.generationId,
+    tokens,
+    gapMs: (now - since) / tokens,
+  } as const;
+  return { kind: 'post', event };
+};
+
+const addChunks = (
+  state: StreamsState,
+  event: Extract<StreamsEvent, { readonly kind: 'engine-chunks' }>,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const generation = state.generations.get(event.generationId);
+  if (generation === undefined) return [];
+  const timed: Generation = {
+    ...generation,
+    firstChunkAt: generation.firstChunkAt ?? now,
+    lastChunkAt: now,
+    chunkCount: generation.chunkCount + event.choices.length,
+  };
+  const report = describeProgress(timed, now);
+  const reported =
+    report === null ? timed : { ...timed, reportedAt: now, reportedCount: timed.chunkCount };
+  return [
+    ...applyBuffer(state, reported, { kind: 'engine-chunks', chunks: event.choices, now }),
+    ...(report === null ? [] : [report]),
+  ];
+};
+
+const closeFinished = (
+  state: StreamsState,
+  event: Extract<StreamsEvent, { readonly kind: 'engine-finished' }>,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const generation = state.generations.get(event.generationId);
+  if (generation === undefined || !isRunning(generation)) return [];
+  return [
+    ...applyBuffer(state, generation, { kind: 'engine-finished', usage: event.usage, now }),
+    describeOutcome(generation, 'success'),
+    {
+      kind: 'log',
+      name: 'generation-finished',
+      details: {
+        requestId: generation.call.requestId,
+        data: { generationId: event.generationId, chunks: generation.chunkCount },
+      },
+    },
+  ];
+};
+
+const toResult = (failure: Failure): WorkResult => {
+  if (failure.code === 'bad-request') return 'cancelled';
+  return failure.code === 'endpoint-lost' ? 'lost' : 'failure';
+};
+
+const closeFailed = (
+  state: StreamsState,
+  event: Extract<StreamsEvent, { readonly kind: 'engine-failed' }>,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const generation = state.generations.get(event.generationId);
+  if (generation === undefined || !isRunning(generation)) return [];
+  const { failure } = event;
+  const result = toResult(failure);
+  return [
+    ...applyBuffer(state, generation, { kind: 'engine-failed', failure, now }),
+    describeOutcome(generation, result),
+    {
+      kind: 'log',
+      name: 'generation-failed',
+      details: {
+        requestId: generation.call.requestId,
+        data: { generationId: event.generationId, code: failure.code, message: failure.message },
+      },
+    },
+  ];
+};
+
+const closeReader = (
+  state: StreamsState,
+  callId: CallId,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const link = removeReader(state, callId);
+  const generation = link === undefined ? undefined : state.generations.get(link.generationId);
+  if (link === undefined || generation === undefined) return [];
+  const identity = { stream: link.stream, link: link.link };
+  return applyBuffer(state, generation, { kind: 'reader-closed', ...identity, now });
+};
+
+const updateTaken = (
+  state: StreamsState,
+  event: Extract<StreamsEvent, { readonly kind: 'reader-took' }>,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const link = state.readers.get(event.callId);
+  const generation = link === undefined ? undefined : state.generations.get(link.generationId);
+  if (link === undefined || generation === undefined) return [];
+  const identity = { stream: link.stream, link: link.link };
+  const { nextNumber } = event;
+  return applyBuffer(state, generation, { kind: 'reader-took', ...identity, nextNumber, now });
+};
+
+const cancelByCaller = (
+  state: StreamsState,
+  generationId: GenerationId,
+  now: Millis,
+): readonly EndpointEffect[] => {
+  const generation = state.generations.get(generationId);
+  if (generation === undefined) return [];
+  return applyBuffer(state, generation, { kind: 'cancelled', now });
+};
+
+const expireGenerations = (state: StreamsState, now: Millis): readonly EndpointEffect[] => {
+  const ticks = [...state.generations.values()].flatMap((generation) =>
+    applyBuffer(state, generation, { kind: 'tick', now }),
+  );
+  const again = { to: 'streams', kind: 'sweep' } as const;
+  return [...ticks, { kind: 'schedule', delayMs: SWEEP_MS, event: again }];
+};
+
+const decideStreams = (
+  state: StreamsState,
+  event: StreamsEvent,
+  inputs: StreamsInputs,
+): readonly EndpointEffect[] => {
+  switch (event.kind) {
+    case 'open':
+      return openCall(state, event.call, inputs);
+    case 'engine-chunks':
+      return addChunks(state, event, inputs.now());
+    case 'engine-finished':
+      return closeFinished(state, event, inputs.now());
+    case 'engine-failed':
+      return closeFailed(state, event, inputs.now());
+    case 'reader-took':
+      return updateTaken(state, event, inputs.now());
+    case 'reader-gone':
+      return closeReader(state, event.callId, inputs.now());
+    case 'cancel':
+      return cancelByCaller(state, event.generationId, inputs.now());
+    case 'sweep':
+      return expireGenerations(state, inputs.now());
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the decisions of the `streams` child. Its state is lost with the process; readers are
+ * then told `stream-lost`.
+ *
+ * @param inputs - clock and buffer bounds
+ * @returns the child's logic
+ */
+export const createStreamsLogic = (
+  inputs: StreamsInputs,
+): ChildLogic<StreamsState, StreamsEvent, EndpointEffect> => ({
+  init: (): StreamsStep =>
+    toStep<StreamsState, EndpointEffect>(
+      { generations: new Map(), readers: new Map(), calls: new Map(), running: 0 },
+      { kind: 'reset-generations' },
+      { kind: 'schedule', delayMs: SWEEP_MS, event: { to: 'streams', kind: 'sweep' } },
+    ),
+  decide: (state, event) => toStep(state, ...decideStreams(state, event, inputs)),
+});
--- /dev/null
+++ b/packages/endpoint/streams/types.ts
@@ -0,0 +1,36 @@
+import type { Millis } from '../../core/clock.js';
+import type { GenerationId } from '../../core/ids.js';
+import type { BufferState } from '../../decisions/streams/bufferTypes.js';
+import type { CallId, GenerateCall } from '../types.js';
+
+/** One generation of this endpoint with its buffer and its timing. */
+export interface Generation {
+  readonly call: GenerateCall;
+  readonly buffer: BufferState;
+  readonly startedAt: Millis;
+  readonly firstChunkAt: Millis | null;
+  readonly lastChunkAt: Millis | null;
+  readonly chunkCount: number;
+  /** Last report of progress to the admission limit. */
+  readonly reportedAt: Millis | null;
+  readonly reportedCount: number;
+}
+
+/** Which generation an open call of an entry daemon reads. */
+export interface ReaderLink {
+  readonly generationId: GenerationId;
+  readonly stream: string;
+  readonly link: number;
+}
+
+/**
+ * Generations and their readers. The maps are owned by the `streams` child and updated in place,
+ * since thousands of generations get a chunk every few milliseconds.
+ */
+export interface StreamsState {
+  readonly generations: Map<GenerationId, Generation>;
+  readonly readers: Map<CallId, ReaderLink>;
+  readonly calls: Map<string, CallId>;
+  /** Generations that the engine works on. */
+  running: number;
+}
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -132,11 +132,22 @@
   readonly tokenGaps: number;
 }
 
-/** How one piece of work ended, for the evidence of a version. */
+/** A generation id or a call id: one piece of work that the endpoint was given. */
+export type WorkId = string;
+
+/**
+ * `failure` is an error answer, `lost` a broken connection, as after a crash; cancelled work and work
+ * that the endpoint refused as bad say nothing about its version.
+ */
+export type WorkResult = 'success' | 'failure' | 'lost' | 'cancelled';
+
+/** How one piece of work ended, for the admission limit and for the evidence of a version. */
 export interface WorkOutcome {
+  readonly workId: WorkId;
+  readonly customer: CustomerId;
   readonly route: string;
   readonly className: ClassName;
-  readonly result: 'success' | 'failure';
+  readonly result: WorkResult;
   readonly firstTokenMs: Millis | null;
   readonly tokenGapMsSum: Millis;
   readonly tokenGaps: number;
@@ -163,7 +174,18 @@
       readonly events: readonly CacheEvent[];
       readonly next: number;
     }
-  | { readonly to: 'engine'; readonly kind: 'work-ended'; readonly outcome: WorkOutcome };
+  | { readonly to: 'engine'; readonly kind: 'admit-generation'; readonly call: GenerateCall }
+  | { readonly to: 'engine'; readonly kind: 'admit-call'; readonly call: ServiceCall }
+  | {
+      readonly to: 'engine';
+      readonly kind: 'tokens-received';
+      readonly workId: WorkId;
+      readonly tokens: number;
+      /** Mean time between the tokens. */
+      readonly gapMs: Millis;
+    }
+  | { readonly to: 'engine'; readonly kind: 'work-ended'; readonly outcome: WorkOutcome }
+  | { readonly to: 'engine'; readonly kind: 'restart-ramp' };
 
 export type StreamsEvent =
   | { readonly to: 'streams'; readonly kind: 'open'; readonly call: GenerateCall }
@@ -275,6 +297,9 @@
       readonly generationId: GenerationId;
       readonly flow: 'flowing' | 'paused';
     }
+  /** Cancels what an earlier state of the child had running and fails its readers. */
+  | { readonly kind: 'reset-generations' }
+  | { readonly kind: 'reset-calls' }
   | { readonly kind: 'send-started'; readonly callId: CallId }
   | {
       readonly kind: 'send-chunks';
--- /dev/null
+++ b/packages/entry/events.ts
@@ -0,0 +1,253 @@
+import type {
+  FenceQuestion,
+  EndpointCompletion,
+  OpenCall,
+  OpenGeneration,
+} from './requests/endpointClient.js';
+import type {
+  CallerRequest,
+  HeartbeatReply,
+  ListedInstance,
+  ReceivedHeartbeat,
+  ServiceAnswer,
+} from './types.js';
+import type { Millis } from '../core/clock.js';
+import type { EventName } from '../core/events/catalogue.js';
+import type { EventDetails } from '../core/events/types.js';
+import type { EndpointId, GenerationId, Incarnation, Offset, RequestId } from '../core/ids.js';
+import type { Failure } from '../core/verdict.js';
+import type { ChainRecord, IntentTimer, AppendResult } from '../decisions/idempotency/types.js';
+import type { GenerationSource } from '../decisions/streams/types.js';
+
+/** Streams of the platform's log that entry daemons read and append to. */
+export type LogStream = 'control' | 'intents';
+
+export interface LogBatch {
+  readonly firstOffset: Offset;
+  readonly nextOffset: Offset;
+  readonly records: readonly {
+    readonly offset: Offset;
+    readonly at: Millis;
+    readonly body: unknown;
+  }[];
+}
+
+/** Who waits for the answer to an append. */
+export type AppendOwner =
+  | {
+      readonly kind: 'intent';
+      readonly requestId: RequestId;
+      readonly of: ChainRecord['kind'];
+      readonly nonce: string;
+    }
+  | { readonly kind: 'operator'; readonly operationId: string }
+  | { readonly kind: 'own-record' };
+
+export type PlatformEvent =
+  | { readonly to: 'platform'; readonly kind: 'poll-list' }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'list-received';
+      readonly instances: readonly ListedInstance[];
+    }
+  | { readonly to: 'platform'; readonly kind: 'list-failed'; readonly reason: string }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'read-ended';
+      readonly stream: LogStream;
+      readonly batch: LogBatch;
+    }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'read-failed';
+      readonly stream: LogStream;
+      readonly reason: string;
+    }
+  | { readonly to: 'platform'; readonly kind: 'read-due'; readonly stream: LogStream }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'append-requested';
+      readonly stream: LogStream;
+      readonly records: readonly unknown[];
+      readonly owner: AppendOwner;
+    }
+  | { readonly to: 'platform'; readonly kind: 'commit-due' }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'append-ended';
+      readonly stream: LogStream;
+      readonly batchId: number;
+      readonly result: AppendResult;
+    }
+  | { readonly to: 'platform'; readonly kind: 'upkeep' }
+  | {
+      readonly to: 'platform';
+      readonly kind: 'peer-answered';
+      readonly snapshot: unknown;
+    }
+  | { readonly to: 'platform'; readonly kind: 'peer-failed'; readonly reason: string };
+
+export type MembershipEvent =
+  | {
+      readonly to: 'membership';
+      readonly kind: 'heartbeat-received';
+      readonly heartbeatId: string;
+      readonly heartbeat: ReceivedHeartbeat;
+    }
+  | {
+      readonly to: 'membership';
+      readonly kind: 'list-updated';
+      readonly instances: readonly ListedInstance[];
+    }
+  | {
+      readonly to: 'membership';
+      readonly kind: 'configuration-updated';
+      readonly dataCentresOut: readonly string[];
+      readonly offset: Offset;
+    }
+  | { readonly to: 'membership'; readonly kind: 'tick' };
+
+export type RequestsEvent =
+  | { readonly to: 'requests'; readonly kind: 'request-received'; readonly request: CallerRequest }
+  | { readonly to: 'requests'; readonly kind: 'caller-gone'; readonly requestId: RequestId }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'endpoint-completed';
+      readonly completion: EndpointCompletion;
+    }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'resume-due';
+      readonly requestId: RequestId;
+      readonly generationId: GenerationId;
+      readonly link: number;
+    }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'intent-timer';
+      readonly requestId: RequestId;
+      readonly timer: IntentTimer;
+      readonly round: number;
+    }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'append-ended';
+      readonly owner: Extract<AppendOwner, { readonly kind: 'intent' }>;
+      readonly result: AppendResult;
+    }
+  | { readonly to: 'requests'; readonly kind: 'intents-folded' }
+  | { readonly to: 'requests'; readonly kind: 'retry-due'; readonly requestId: RequestId }
+  /** Room may have opened at an endpoint. */
+  | { readonly to: 'requests'; readonly kind: 'capacity-changed'; readonly endpoint: EndpointId }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'endpoint-lost';
+      readonly endpoint: EndpointId;
+      readonly incarnation: Incarnation;
+    }
+  | { readonly to: 'requests'; readonly kind: 'tick' }
+  | { readonly to: 'requests'; readonly kind: 'drain-ended' };
+
+/** Answer of the operator interface. */
+export interface OperatorReply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+export type OperatorEvent =
+  | {
+      readonly to: 'operator';
+      readonly kind: 'record-posted';
+      readonly operationId: string;
+      readonly author: string;
+      readonly body: unknown;
+      readonly run: 'dry' | 'real';
+    }
+  | {
+      readonly to: 'operator';
+      readonly kind: 'append-ended';
+      readonly operationId: string;
+      readonly result: AppendResult;
+    }
+  | { readonly to: 'operator'; readonly kind: 'configuration-updated' }
+  | { readonly to: 'operator'; readonly kind: 'operation-expired'; readonly operationId: string };
+
+export type FrontendEvent =
+  | { readonly to: 'frontend'; readonly kind: 'request-arrived'; readonly request: CallerRequest }
+  | { readonly to: 'frontend'; readonly kind: 'drain-started'; readonly reason: string }
+  | { readonly to: 'frontend'; readonly kind: 'drain-checked' };
+
+export type EntryEvent =
+  PlatformEvent | MembershipEvent | RequestsEvent | OperatorEvent | FrontendEvent;
+
+export type EntryEffect =
+  | { readonly kind: 'post'; readonly event: EntryEvent }
+  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EntryEvent }
+  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | {
+      readonly kind: 'record-latency';
+      readonly name: string;
+      readonly className: string;
+      readonly duration: Millis;
+    }
+  /** Fails all open requests, whose state was lost with an earlier start of the child. */
+  | { readonly kind: 'reset-requests' }
+  | { readonly kind: 'fetch-list' }
+  | {
+      readonly kind: 'read-log';
+      readonly stream: LogStream;
+      readonly from: Offset;
+      readonly waitMs: Millis;
+    }
+  | {
+      readonly kind: 'append-log';
+      readonly stream: LogStream;
+      readonly batchId: number;
+      readonly records: readonly unknown[];
+    }
+  | { readonly kind: 'fetch-peer-configuration'; readonly url: string }
+  | {
+      readonly kind: 'reply-heartbeat';
+      readonly heartbeatId: string;
+      readonly reply: HeartbeatReply | null;
+    }
+  | { readonly kind: 'open-generation'; readonly open: OpenGeneration }
+  | { readonly kind: 'close-link'; readonly generationId: GenerationId; readonly link: number }
+  | {
+      readonly kind: 'cancel-generation';
+      readonly url: string;
+      readonly generationId: GenerationId;
+      readonly incarnation: Incarnation;
+    }
+  | { readonly kind: 'call-endpoint'; readonly call: OpenCall }
+  | { readonly kind: 'fence-nonce'; readonly question: FenceQuestion }
+  | {
+      readonly kind: 'write-chunks';
+      readonly requestId: RequestId;
+      readonly customer: string;
+      readonly model: string;
+      readonly source: GenerationSource;
+      readonly fromNumber: number;
+      readonly chunks: readonly string[];
+    }
+  | { readonly kind: 'finish-generation'; readonly requestId: RequestId; readonly usage: string }
+  | { readonly kind: 'send-answer'; readonly requestId: RequestId; readonly answer: ServiceAnswer }
+  | { readonly kind: 'fail-request'; readonly requestId: RequestId; readonly failure: Failure }
+  | {
+      readonly kind: 'hand-over';
+      readonly requestId: RequestId;
+      readonly customer: string;
+      readonly source: GenerationSource;
+      readonly nextNumber: number;
+    }
+  | { readonly kind: 'reply-operator'; readonly operationId: string; readonly reply: OperatorReply }
+  | { readonly kind: 'notify-operators'; readonly notice: OperatorNotice }
+  | { readonly kind: 'end-process'; readonly left: number };
+
+/** What operators are told without having asked. */
+export interface OperatorNotice {
+  readonly event: EventName;
+  readonly entity: string;
+  readonly at: Millis;
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/entry/requests/call.ts
@@ -0,0 +1,194 @@
+import type { EndpointCompletion } from './endpointClient.js';
+import type { RequestsInputs } from './inputs.js';
+import { failRequest, logAttemptEnd } from './outcomes.js';
+import type { RequestStep } from './outcomes.js';
+import { selectPlace } from './placing.js';
+import { decideNextAttempt } from './retrying.js';
+import type { CallState, ClassPolicy, KeyedState, Placed } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import type { EntryEffect } from '../events.js';
+import type { ServiceAnswer, ServiceRequest } from '../types.js';
+
+/** Completions of a call to a plain service. */
+export type CallCompletion = Extract<
+  EndpointCompletion,
+  { readonly kind: 'call-answered' | 'call-failed' }
+>;
+
+/**
+ * Creates the state of an idempotent call.
+ *
+ * @param request - request of the caller
+ * @param policy - policy of its class
+ * @param inputs - clock
+ * @returns the state before the first placement
+ */
+export const createCall = (
+  request: ServiceRequest,
+  policy: ClassPolicy,
+  inputs: RequestsInputs,
+): CallState => ({
+  kind: 'call',
+  request,
+  policy,
+  deadlineAt: inputs.now() + policy.deadlineMs,
+  excluded: new Set(),
+  attempts: 0,
+  bounces: 0,
+  place: null,
+  waiting: 'no',
+  version: null,
+  lastFailureText: '',
+});
+
+/**
+ * Builds the effects that send a call to an endpoint daemon.
+ *
+ * @param state - request with its place
+ * @param place - chosen endpoint
+ * @param nonce - nonce of a call that runs at most once, else null
+ * @param inputs - clock
+ * @returns log and call effects
+ */
+export const buildCallEffects = (
+  state: CallState | KeyedState,
+  place: Placed,
+  nonce: string | null,
+  inputs: RequestsInputs,
+): readonly EntryEffect[] => {
+  const { request, policy } = state;
+  const attempt = state.attempts;
+  return [
+    {
+      kind: 'log',
+      name: 'attempt-started',
+      details: {
+        requestId: request.requestId,
+        endpoint: place.endpoint,
+        data: { attempt, ...(nonce === null ? {} : { nonce }) },
+      },
+    },
+    {
+      kind: 'call-endpoint',
+      call: {
+        url: place.url,
+        requestId: request.requestId,
+        attempt,
+        customer: request.customer,
+        className: policy.className,
+        importance: policy.importance,
+        service: request.service,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        incarnation: place.incarnation,
+        nonce,
+        key: state.kind === 'keyed' ? state.key : request.key,
+        deadlineMs: Math.max(1, state.deadlineAt - inputs.now()),
+        fingerprint: request.fingerprint,
+      },
+    },
+  ];
+};
+
+/**
+ * Tries to place an idempotent call and sends it there.
+ *
+ * @param state - call without a place
+ * @param inputs - endpoints and estimates
+ * @returns the step; the call waits in the queue when no endpoint has room
+ */
+export const placeCall = (state: CallState, inputs: RequestsInputs): RequestStep => {
+  const result = selectPlace(state, inputs);
+  switch (result.kind) {
+    case 'wait':
+      return toStep<CallState, EntryEffect>({ ...state, waiting: 'in-queue' });
+    case 'refuse':
+      return toStep<CallState, EntryEffect>({
+        ...state,
+        waiting: 'in-queue',
+        lastFailureText: result.failure.message,
+      });
+    case 'placed': {
+      const next: CallState = {
+        ...state,
+        place: result.place,
+        waiting: 'no',
+        attempts: state.attempts + 1,
+      };
+      return toStep<CallState, EntryEffect>(
+        next,
+        ...result.effects,
+        ...buildCallEffects(next, result.place, null, inputs),
+      );
+    }
+    default:
+      return assertNever(result);
+  }
+};
+
+/**
+ * Ends a request with the service's answer.
+ *
+ * @param state - request
+ * @param answer - answer of the service
+ * @param inputs - own placements
+ * @returns the step that ends the request
+ */
+export const sendAnswer = (
+  state: CallState | KeyedState,
+  answer: ServiceAnswer,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const { requestId, receivedAt } = state.request;
+  const now = inputs.now();
+  const { className } = state.policy;
+  inputs.own.releasePlacement(requestId, now);
+  return toStep<CallState | null, EntryEffect>(
+    null,
+    { kind: 'send-answer', requestId, answer },
+    { kind: 'record-latency', name: 'call_ms', className, duration: now - receivedAt },
+    logAttemptEnd(state, null),
+    {
+      kind: 'log',
+      name: 'request-finished',
+      details: {
+        requestId,
+        ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+        data: { status: answer.status, class: className, durationMs: Math.round(now - receivedAt) },
+      },
+    },
+  );
+};
+
+/**
+ * Applies the end of an idempotent call's attempt.
+ *
+ * @param state - call
+ * @param completion - how the attempt ended
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyCallCompletion = (
+  state: CallState,
+  completion: CallCompletion,
+  inputs: RequestsInputs,
+): RequestStep => {
+  if (completion.attempt !== state.attempts || state.waiting !== 'no') return toStep(state);
+  switch (completion.kind) {
+    case 'call-answered':
+      return sendAnswer(state, completion.answer, inputs);
+    case 'call-failed': {
+      inputs.own.releasePlacement(state.request.requestId, inputs.now());
+      const ended = logAttemptEnd(state, completion.failure);
+      const next = decideNextAttempt(state, completion.failure, inputs);
+      if (next.kind === 'give-up') return failRequest(state, next.failure, inputs, [ended]);
+      const again: CallState = { ...state, ...next.changes, place: null };
+      return toStep<CallState, EntryEffect>(again, ended, ...next.effects);
+    }
+    default:
+      return assertNever(completion);
+  }
+};
--- a/packages/entry/requests/constants.ts
+++ b/packages/entry/requests/constants.ts
@@ -1,2 +1,20 @@
 /** Time within which an endpoint daemon must answer the opening of a link. */
 export const LINK_OPEN_TIMEOUT_MS = 2_000;
+
+/** Refusals for lack of room after which endpoints that refused before are tried again. */
+export const MAX_BOUNCES = 4;
+
+/** Version of endpoints that report none. */
+export const NO_VERSION = 'unversioned';
+
+/** Period of looking at waiting requests, in case no event told of new room. */
+export const TICK_MS = 50;
+
+/** Waiting requests that are tried for each event that may have opened room. */
+export const TRIES_PER_EVENT = 64;
+
+/** Pause before a request that was bounced by every endpoint is tried again. */
+export const BOUNCE_PAUSE_MS = 25;
+
+/** Retries of one request, besides what the retry budget allows. */
+export const MAX_ATTEMPTS = 4;
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -123,7 +123,7 @@
 export interface EndpointClient {
   readonly openGeneration: (open: OpenGeneration) => void;
   /** Stops reading a link; the generation goes on at the endpoint daemon. */
-  readonly closeLink: (requestId: RequestId, link: number) => void;
+  readonly closeLink: (generationId: GenerationId, link: number) => void;
   readonly cancelGeneration: (
     url: string,
     generationId: GenerationId,
@@ -157,7 +157,8 @@
   body: answer.body,
 });
 
-const getLinkId = (requestId: RequestId, link: number): string => `${requestId}/${link.toString()}`;
+const getLinkId = (generationId: GenerationId, link: number): string =>
+  `${generationId}/${link.toString()}`;
 
 /**
  * Creates the adapter that calls endpoint daemons. Each completion is posted as an event.
@@ -217,7 +218,7 @@
     const { requestId, generationId, link } = open;
     const key: LinkKey = { requestId, generationId, link };
     const controller = new AbortController();
-    const linkId = getLinkId(requestId, link);
+    const linkId = getLinkId(generationId, link);
     links.set(linkId, controller);
     const opening = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
@@ -364,8 +365,8 @@
 
   return {
     openGeneration: (open) => void readLink(open),
-    closeLink: (requestId, link) => {
-      const linkId = getLinkId(requestId, link);
+    closeLink: (generationId, link) => {
+      const linkId = getLinkId(generationId, link);
       const controller = links.get(linkId);
       links.delete(linkId);
       controller?.abort();
--- /dev/null
+++ b/packages/entry/requests/generation.ts
@@ -0,0 +1,495 @@
+import { failRequest, logAttemptEnd } from './outcomes.js';
+import type { RequestStep } from './outcomes.js';
+import type { RequestsInputs } from './inputs.js';
+import { selectPlace } from './placing.js';
+import { decideNextAttempt } from './retrying.js';
+import type { ClassPolicy, GenerationState, Placed } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { GenerationId } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { decideDelivery, initDelivery, resumeDelivery } from '../../decisions/streams/delivery.js';
+import type {
+  DeliveryEffect,
+  DeliveryEvent,
+  GenerationSource,
+} from '../../decisions/streams/types.js';
+import type { EntryEffect } from '../events.js';
+import type { GenerationRequest, ResumeRequest } from '../types.js';
+import type { EndpointCompletion } from './endpointClient.js';
+
+type GenerationStep = RequestStep;
+
+/** Completions that belong to a link of a generation. */
+export type LinkCompletion = Extract<
+  EndpointCompletion,
+  {
+    readonly kind:
+      'link-opened' | 'chunks-received' | 'generation-finished' | 'generation-failed' | 'link-lost';
+  }
+>;
+
+/**
+ * Creates the state of a new generation.
+ *
+ * @param request - request of the caller
+ * @param policy - policy of its class
+ * @param inputs - clock
+ * @returns the state before the first placement
+ */
+export const createGeneration = (
+  request: GenerationRequest,
+  policy: ClassPolicy,
+  inputs: RequestsInputs,
+): GenerationState => ({
+  kind: 'generation',
+  request,
+  policy,
+  deadlineAt: inputs.now() + policy.deadlineMs,
+  excluded: new Set(),
+  attempts: 0,
+  bounces: 0,
+  place: null,
+  waiting: 'no',
+  version: null,
+  lastFailureText: '',
+  delivery: initDelivery(
+    policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
+  ),
+  firstChunkAt: null,
+  lastChunkAt: null,
+});
+
+const openStart = (
+  state: GenerationState,
+  place: Placed,
+  generationId: GenerationId,
+  inputs: RequestsInputs,
+): EntryEffect => {
+  const { request, policy } = state;
+  if (request.kind === 'resume') throw new Error('a resumed stream starts no generation');
+  return {
+    kind: 'open-generation',
+    open: {
+      requestId: request.requestId,
+      generationId,
+      link: 0,
+      url: place.url,
+      mode: 'start',
+      fromNumber: 0,
+      incarnation: place.incarnation,
+      customer: request.customer,
+      className: policy.className,
+      route: 'chat',
+      importance: policy.importance,
+      deadlineMs: state.deadlineAt - inputs.now(),
+      fingerprint: request.fingerprint,
+      promptTokens: request.promptTokens,
+      body: request.body,
+    },
+  };
+};
+
+/**
+ * Tries to place a generation and starts it there.
+ *
+ * @param state - generation without a place
+ * @param inputs - endpoints and estimates
+ * @returns the step; the request waits in the queue when no endpoint has room
+ */
+export const placeGeneration = (state: GenerationState, inputs: RequestsInputs): GenerationStep => {
+  const result = selectPlace(state, inputs);
+  switch (result.kind) {
+    case 'wait':
+      return toStep<GenerationState, EntryEffect>({ ...state, waiting: 'in-queue' });
+    case 'refuse':
+      // Heartbeats may be late; the request waits for an endpoint until its deadline.
+      return toStep<GenerationState, EntryEffect>({
+        ...state,
+        waiting: 'in-queue',
+        lastFailureText: result.failure.message,
+      });
+    case 'placed': {
+      const { place } = result;
+      const generationId = inputs.createId();
+      const source: GenerationSource = {
+        generationId,
+        endpoint: place.endpoint,
+        incarnation: place.incarnation,
+      };
+      const step = decideDelivery(state.delivery, { kind: 'attempt-started', source });
+      const next: GenerationState = {
+        ...state,
+        place,
+        waiting: 'no',
+        attempts: state.attempts + 1,
+        delivery: step.state,
+      };
+      return toStep<GenerationState, EntryEffect>(
+        next,
+        ...result.effects,
+        {
+          kind: 'log',
+          name: 'attempt-started',
+          details: {
+            requestId: state.request.requestId,
+            endpoint: place.endpoint,
+            sent: `${generationId}/0`,
+            data: { generationId, attempt: next.attempts },
+          },
+        },
+        openStart(next, place, generationId, inputs),
+      );
+    }
+    default:
+      return assertNever(result);
+  }
+};
+
+/**
+ * Takes up a stream from a resume ticket.
+ *
+ * @param request - request of the caller
+ * @param policy - policy of its class
+ * @param inputs - endpoints by name
+ * @returns the step that resumes, or that tells the caller that the stream is lost
+ */
+export const startResume = (
+  request: ResumeRequest,
+  policy: ClassPolicy,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  const { generationId, endpoint, incarnation, lastNumber } = request;
+  const view = inputs.listEndpoints().find((candidate) => candidate.endpoint === endpoint);
+  const url = inputs.findUrl(endpoint);
+  const source: GenerationSource = { generationId, endpoint, incarnation };
+  const resumed = resumeDelivery(source, lastNumber + 1);
+  const state: GenerationState = {
+    kind: 'generation',
+    request,
+    policy,
+    deadlineAt: inputs.now() + policy.deadlineMs,
+    excluded: new Set(),
+    attempts: 1,
+    bounces: 0,
+    place: {
+      endpoint,
+      incarnation,
+      url: url ?? '',
+      model: view?.model ?? '',
+      version: view?.version ?? '',
+      placedAt: inputs.now(),
+    },
+    waiting: 'no',
+    version: null,
+    lastFailureText: '',
+    delivery: resumed.state,
+    firstChunkAt: null,
+    lastChunkAt: null,
+  };
+  if (url === undefined || view?.incarnation !== incarnation) {
+    const text = `endpoint ${endpoint} of the ticket is gone`;
+    return failRequest(state, createFailure('may-have-run', 'stream-lost', text), inputs);
+  }
+  return applyEffects(state, resumed.effects, inputs);
+};
+
+const openResume = (
+  state: GenerationState,
+  effect: Extract<DeliveryEffect, { readonly kind: 'resume' }>,
+  inputs: RequestsInputs,
+): readonly EntryEffect[] => {
+  const { request, policy, place } = state;
+  const { source, fromNumber, link } = effect;
+  const { generationId } = source;
+  const opened: EntryEffect = {
+    kind: 'open-generation',
+    open: {
+      requestId: request.requestId,
+      generationId,
+      link,
+      url: place?.url ?? '',
+      mode: 'resume',
+      fromNumber,
+      incarnation: source.incarnation,
+      customer: request.customer,
+      className: policy.className,
+      route: 'chat',
+      importance: policy.importance,
+      deadlineMs: state.deadlineAt - inputs.now(),
+      fingerprint: request.fingerprint,
+      promptTokens: 0,
+      body: new Uint8Array(),
+    },
+  };
+  const logged: EntryEffect = {
+    kind: 'log',
+    name: 'stream-resumed',
+    details: {
+      requestId: request.requestId,
+      endpoint: source.endpoint,
+      sent: `${generationId}/${link.toString()}`,
+      data: { fromNumber, link },
+    },
+  };
+  const closed: EntryEffect = { kind: 'close-link', generationId, link: link - 1 };
+  return link === 0 ? [logged, opened] : [closed, logged, opened];
+};
+
+const closeFinished = (
+  state: GenerationState,
+  effect: Extract<DeliveryEffect, { readonly kind: 'finish' }>,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  const { request, policy, place } = state;
+  const { requestId } = request;
+  inputs.own.releasePlacement(requestId, inputs.now());
+  if (request.kind === 'generation' && place !== null) {
+    const key = {
+      className: policy.className,
+      customer: request.customer,
+      version: place.version,
+    };
+    inputs.survival.observeFinished(key, effect.chunkCount);
+  }
+  return toStep<GenerationState | null, EntryEffect>(
+    null,
+    { kind: 'finish-generation', requestId, usage: effect.usage },
+    logAttemptEnd(state, null),
+    {
+      kind: 'log',
+      name: 'request-finished',
+      details: {
+        requestId,
+        ...(place === null ? {} : { endpoint: place.endpoint }),
+        data: {
+          chunks: effect.chunkCount,
+          class: policy.className,
+          durationMs: Math.round(inputs.now() - request.receivedAt),
+        },
+      },
+    },
+  );
+};
+
+const closeLinkOf = (state: GenerationState, source: GenerationSource): EntryEffect => ({
+  kind: 'close-link',
+  generationId: source.generationId,
+  link: state.delivery.link,
+});
+
+const restart = (
+  state: GenerationState,
+  failure: Failure,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  inputs.own.releasePlacement(state.request.requestId, inputs.now());
+  const ended = logAttemptEnd(state, failure);
+  const next = decideNextAttempt(state, failure, inputs);
+  switch (next.kind) {
+    case 'again': {
+      const again: GenerationState = {
+        ...state,
+        ...next.changes,
+        place: null,
+        firstChunkAt: null,
+        lastChunkAt: null,
+      };
+      return toStep<GenerationState, EntryEffect>(again, ended, ...next.effects);
+    }
+    case 'give-up': {
+      const given = decideDelivery(state.delivery, { kind: 'gave-up', failure: next.failure });
+      const step = applyEffects({ ...state, delivery: given.state }, given.effects, inputs);
+      return toStep<GenerationState | null, EntryEffect>(
+        step.state as GenerationState | null,
+        ended,
+        ...step.effects,
+      );
+    }
+    default:
+      return assertNever(next);
+  }
+};
+
+/** Carries out the delivery's effects in order; the request is over once one of them ends it. */
+const applyEffects = (
+  state: GenerationState,
+  effects: readonly DeliveryEffect[],
+  inputs: RequestsInputs,
+): GenerationStep => {
+  let step: GenerationStep = toStep<GenerationState, EntryEffect>(state);
+  for (const effect of effects) {
+    const current = step.state ?? state;
+    if (current.kind !== 'generation') break;
+    const next = applyEffect(current, effect, inputs);
+    const over = step.state === null ? null : next.state;
+    step = { state: over, effects: [...step.effects, ...next.effects] };
+  }
+  return step;
+};
+
+const applyEffect = (
+  state: GenerationState,
+  effect: DeliveryEffect,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  const { requestId, customer } = state.request;
+  switch (effect.kind) {
+    case 'write-chunks':
+      return toStep<GenerationState, EntryEffect>(state, {
+        kind: 'write-chunks',
+        requestId,
+        customer,
+        model:
+          state.request.kind === 'generation' ? state.request.model : (state.place?.model ?? ''),
+        source: effect.source,
+        fromNumber: effect.fromNumber,
+        chunks: effect.chunks,
+      });
+    case 'finish':
+      return closeFinished(state, effect, inputs);
+    case 'fail':
+      return failRequest(state, effect.failure, inputs);
+    case 'resume':
+      return toStep<GenerationState, EntryEffect>(state, ...openResume(state, effect, inputs));
+    case 'schedule-resume': {
+      const { generationId, link, delayMs } = effect;
+      const event = { to: 'requests', kind: 'resume-due', requestId, generationId, link } as const;
+      return toStep<GenerationState, EntryEffect>(state, { kind: 'schedule', delayMs, event });
+    }
+    case 'restart-allowed':
+      return restart(state, effect.failure, inputs);
+    case 'hand-over':
+      return toStep<null, EntryEffect>(null, {
+        kind: 'hand-over',
+        requestId,
+        customer,
+        source: effect.source,
+        nextNumber: effect.fromNumber,
+      });
+    case 'detach':
+      inputs.own.releasePlacement(requestId, inputs.now());
+      return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source));
+    case 'cancel-generation':
+      return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source), {
+        kind: 'cancel-generation',
+        url: state.place?.url ?? '',
+        generationId: effect.source.generationId,
+        incarnation: effect.source.incarnation,
+      });
+    default:
+      return assertNever(effect);
+  }
+};
+
+/**
+ * Applies one event of the delivery.
+ *
+ * @param state - generation
+ * @param event - event of its stream
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyDelivery = (
+  state: GenerationState,
+  event: DeliveryEvent,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  const step = decideDelivery(state.delivery, event);
+  return applyEffects({ ...state, delivery: step.state }, step.effects, inputs);
+};
+
+const toDeliveryEvent = (
+  state: GenerationState,
+  completion: LinkCompletion,
+  inputs: RequestsInputs,
+): DeliveryEvent => {
+  const { generationId, link } = completion;
+  const now = inputs.now();
+  switch (completion.kind) {
+    case 'link-opened':
+      return { kind: 'link-opened', generationId, link };
+    case 'chunks-received': {
+      const { firstNumber, choices } = completion;
+      return { kind: 'chunks', generationId, link, firstNumber, chunks: choices, now };
+    }
+    case 'generation-finished': {
+      const { chunkCount, usage } = completion;
+      return { kind: 'finished', generationId, link, chunkCount, usage, now };
+    }
+    case 'generation-failed':
+      return { kind: 'failed', generationId, link, failure: completion.failure };
+    case 'link-lost': {
+      const isUnsent = completion.sent === 'unsent' && link === 0 && state.delivery.next === 0;
+      if (!isUnsent) return { kind: 'link-lost', generationId, link, now };
+      const failure = createFailure('not-run', 'endpoint-lost', completion.reason);
+      return { kind: 'failed', generationId, link, failure };
+    }
+    default:
+      return assertNever(completion);
+  }
+};
+
+/** Latencies of the chunks that arrived, and a stall if the gap before them was long. */
+const measureChunks = (
+  state: GenerationState,
+  count: number,
+  inputs: RequestsInputs,
+): { readonly state: GenerationState; readonly effects: readonly EntryEffect[] } => {
+  const now = inputs.now();
+  const { className, stallMs } = state.policy;
+  const next = { ...state, firstChunkAt: state.firstChunkAt ?? now, lastChunkAt: now };
+  inputs.own.updateProgress(state.request.requestId, state.delivery.next + count);
+  if (state.lastChunkAt === null) {
+    const duration = now - state.request.receivedAt;
+    return {
+      state: next,
+      effects: [{ kind: 'record-latency', name: 'first_token_ms', className, duration }],
+    };
+  }
+  const gap = now - state.lastChunkAt;
+  const measured: EntryEffect = {
+    kind: 'record-latency',
+    name: 'token_gap_ms',
+    className,
+    duration: gap,
+  };
+  if (gap < stallMs) return { state: next, effects: [measured] };
+  const stalled: EntryEffect = {
+    kind: 'log',
+    name: 'stream-stalled',
+    details: {
+      requestId: state.request.requestId,
+      ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+      data: {
+        stallMs: Math.round(gap),
+        cause: state.delivery.trouble === null ? 'engine' : 'link',
+      },
+    },
+  };
+  return { state: next, effects: [measured, stalled] };
+};
+
+/**
+ * Applies a completion of a link.
+ *
+ * @param state - generation
+ * @param completion - what arrived from the endpoint daemon
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyCompletion = (
+  state: GenerationState,
+  completion: LinkCompletion,
+  inputs: RequestsInputs,
+): GenerationStep => {
+  const isCurrent = state.delivery.source?.generationId === completion.generationId;
+  const measured =
+    completion.kind === 'chunks-received' && isCurrent
+      ? measureChunks(state, completion.choices.length, inputs)
+      : { state, effects: [] };
+  const event = toDeliveryEvent(state, completion, inputs);
+  const step = applyDelivery(measured.state, event, inputs);
+  return { state: step.state, effects: [...measured.effects, ...step.effects] };
+};
--- /dev/null
+++ b/packages/entry/requests/inputs.ts
@@ -0,0 +1,39 @@
+import type { ClassPolicy } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import type { ClassName, CustomerId, ModelName } from '../../core/ids.js';
+import type { RandomSource } from '../../core/random.js';
+import type { ChainState, TableStanding } from '../../decisions/idempotency/types.js';
+import type { OwnTable } from '../../decisions/placement/own.js';
+import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
+import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
+
+/** What the `requests` child knows of the rest of the daemon. */
+export interface RequestsInputs {
+  readonly now: () => Millis;
+  readonly random: RandomSource;
+  readonly createId: () => string;
+  readonly process: string;
+  readonly dataCentre: string;
+  readonly models: readonly ModelName[];
+  readonly policy: PlacementPolicy;
+  readonly limits: {
+    readonly maxRequests: number;
+    readonly queueCapacity: number;
+    readonly keyWindowMs: Millis;
+    readonly maxUntimedKeys: number;
+  };
+  readonly getCustomerDefault: (customer: CustomerId) => ClassName | undefined;
+  readonly getClasses: () => ReadonlyMap<ClassName, ClassPolicy>;
+  /** Endpoints with their phase as it is now. */
+  readonly listEndpoints: () => readonly EndpointView[];
+  readonly findUrl: (endpoint: string) => string | undefined;
+  readonly findChain: (customer: CustomerId, key: string) => ChainState | undefined;
+  readonly getIntentLog: () => {
+    readonly log: 'up' | 'out';
+    readonly standing: TableStanding;
+    readonly nextOffset: number;
+    readonly untimedKeys: number;
+  };
+  readonly own: OwnTable;
+  readonly survival: SurvivalTable;
+}
--- /dev/null
+++ b/packages/entry/requests/keyed.ts
@@ -0,0 +1,327 @@
+import { createHash } from 'node:crypto';
+import { buildCallEffects, sendAnswer } from './call.js';
+import type { CallCompletion } from './call.js';
+import type { FenceAnswer } from './endpointClient.js';
+import type { RequestsInputs } from './inputs.js';
+import { failRequest, logAttemptEnd } from './outcomes.js';
+import type { RequestStep } from './outcomes.js';
+import { selectPlace } from './placing.js';
+import type { ClassPolicy, KeyedState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+import { DEFAULT_INTENT_LIMITS } from '../../decisions/idempotency/constants.js';
+import { createIntentState, decideIntent } from '../../decisions/idempotency/intent.js';
+import type {
+  DispatchResult,
+  FenceResult,
+  IntentEffect,
+  IntentEvent,
+  IntentView,
+  StoredAnswer,
+} from '../../decisions/idempotency/types.js';
+import type { EntryEffect } from '../events.js';
+import type { ServiceAnswer, ServiceRequest } from '../types.js';
+
+/**
+ * Creates the state of a call that runs at most once.
+ *
+ * @param request - request of the caller
+ * @param policy - policy of its class
+ * @param inputs - clock and ids
+ * @returns the state before the `start` event
+ */
+export const createKeyed = (
+  request: ServiceRequest,
+  policy: ClassPolicy,
+  inputs: RequestsInputs,
+): KeyedState => {
+  // A call without a key cannot be recognised when it is sent again, but its own attempts still
+  // run at most once.
+  const key = request.key ?? inputs.createId();
+  const deadlineAt = inputs.now() + policy.deadlineMs;
+  return {
+    kind: 'keyed',
+    request,
+    key,
+    policy,
+    deadlineAt,
+    excluded: new Set(),
+    attempts: 0,
+    bounces: 0,
+    place: null,
+    waiting: 'no',
+    version: null,
+    lastFailureText: '',
+    intent: createIntentState({
+      requestId: request.requestId,
+      entry: inputs.process,
+      customer: request.customer,
+      key,
+      fingerprint: request.fingerprint,
+      issuedAt: request.key === null ? inputs.now() : request.keyIssuedAt,
+      deadlineAt,
+    }),
+  };
+};
+
+const toView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
+  const { log, standing, nextOffset, untimedKeys } = inputs.getIntentLog();
+  return {
+    now: inputs.now(),
+    log,
+    standing,
+    nextOffset,
+    untimedKeys,
+    chain: inputs.findChain(state.request.customer, state.key),
+    keys: inputs.limits,
+    limits: DEFAULT_INTENT_LIMITS,
+  };
+};
+
+const toStored = (answer: ServiceAnswer): StoredAnswer => ({
+  ...answer,
+  bodyDigest: createHash('sha256').update(answer.body).digest('base64url'),
+});
+
+/**
+ * Tries to find an endpoint for the next intent.
+ *
+ * @param state - keyed call in the phase `choosing`
+ * @param inputs - endpoints and estimates
+ * @returns the step; the call waits in the queue when no endpoint has room
+ */
+export const placeKeyed = (state: KeyedState, inputs: RequestsInputs): RequestStep => {
+  const result = selectPlace(state, inputs);
+  switch (result.kind) {
+    case 'wait':
+      return toStep<KeyedState, EntryEffect>({ ...state, waiting: 'in-queue' });
+    case 'refuse':
+      return toStep<KeyedState, EntryEffect>({
+        ...state,
+        waiting: 'in-queue',
+        lastFailureText: result.failure.message,
+      });
+    case 'placed': {
+      const { endpoint, incarnation } = result.place;
+      const placed: KeyedState = { ...state, place: result.place, waiting: 'no' };
+      const nonce = inputs.createId();
+      const step = applyIntent(
+        placed,
+        { kind: 'endpoint-chosen', target: { endpoint, incarnation }, nonce },
+        inputs,
+      );
+      return { state: step.state, effects: [...result.effects, ...step.effects] };
+    }
+    default:
+      return assertNever(result);
+  }
+};
+
+const dispatch = (
+  state: KeyedState,
+  effect: Extract<IntentEffect, { readonly kind: 'dispatch' }>,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const url = inputs.findUrl(effect.endpoint);
+  if (url === undefined || state.place === null) {
+    const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
+    const result = { kind: 'refused', failure } as const;
+    return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
+  }
+  const place = { ...state.place, url, endpoint: effect.endpoint, incarnation: effect.incarnation };
+  const next: KeyedState = { ...state, place, attempts: state.attempts + 1 };
+  const active: EntryEffect = {
+    kind: 'log',
+    name: 'intent-active',
+    details: { requestId: state.request.requestId, data: { nonce: effect.nonce } },
+  };
+  return toStep<KeyedState, EntryEffect>(
+    next,
+    active,
+    ...buildCallEffects(next, place, effect.nonce, inputs),
+  );
+};
+
+const fence = (
+  state: KeyedState,
+  effect: Extract<IntentEffect, { readonly kind: 'fence' }>,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const { endpoint, incarnation, nonce } = effect;
+  const { requestId } = state.request;
+  const url = inputs.findUrl(endpoint);
+  if (url === undefined) {
+    const result = { kind: 'unreachable' } as const;
+    return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
+  }
+  return toStep<KeyedState, EntryEffect>(state, {
+    kind: 'fence-nonce',
+    question: { url, requestId, nonce, incarnation },
+  });
+};
+
+const failWithDigest = (
+  state: KeyedState,
+  effect: Extract<IntentEffect, { readonly kind: 'answer-digest' }>,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const status = effect.status?.toString() ?? 'unknown';
+  const text = `the request ran before with status ${status}; its answer is no longer held (digest ${effect.bodyDigest ?? 'unknown'})`;
+  return failRequest(state, createFailure('ran', 'key-unresolved', text), inputs);
+};
+
+const appendRecords = (
+  state: KeyedState,
+  effect: Extract<IntentEffect, { readonly kind: 'append-records' }>,
+): RequestStep => {
+  const { requestId } = state.request;
+  const appends = effect.records.map((record): EntryEffect => ({
+    kind: 'post',
+    event: {
+      to: 'platform',
+      kind: 'append-requested',
+      stream: 'intents',
+      records: [record],
+      owner: { kind: 'intent', requestId, of: record.kind, nonce: record.nonce },
+    },
+  }));
+  const logged = effect.records.map((record): EntryEffect => ({
+    kind: 'log',
+    name: record.kind === 'intent' ? 'intent-appended' : 'outcome-appended',
+    details: { requestId, data: { nonce: record.nonce, record: record.kind } },
+  }));
+  return toStep<KeyedState, EntryEffect>(state, ...logged, ...appends);
+};
+
+const applyIntentEffect = (
+  state: KeyedState,
+  effect: IntentEffect,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const { requestId } = state.request;
+  switch (effect.kind) {
+    case 'choose-endpoint': {
+      inputs.own.releasePlacement(requestId, inputs.now());
+      const excluded = new Set([...state.excluded, ...effect.exclude]);
+      return placeKeyed({ ...state, place: null, excluded }, inputs);
+    }
+    case 'append-records':
+      return appendRecords(state, effect);
+    case 'read-stream':
+      return toStep<KeyedState, EntryEffect>(state, {
+        kind: 'post',
+        event: { to: 'platform', kind: 'read-due', stream: 'intents' },
+      });
+    case 'dispatch':
+      return dispatch(state, effect, inputs);
+    case 'fence':
+      return fence(state, effect, inputs);
+    case 'answer': {
+      const { status, headers, body } = effect.answer;
+      const replayed: EntryEffect = { kind: 'log', name: 'key-replayed', details: { requestId } };
+      const step = sendAnswer(state, { status, headers, body }, inputs);
+      // The outcome record is still to be appended, so the request lives on without its caller.
+      const effects = effect.source === 'stored' ? [replayed, ...step.effects] : step.effects;
+      return { state, effects };
+    }
+    case 'answer-digest':
+      return { ...failWithDigest(state, effect, inputs), state };
+    case 'fail':
+      return { ...failRequest(state, effect.failure, inputs), state };
+    case 'schedule': {
+      const { timer, round, delayMs } = effect;
+      const event = { to: 'requests', kind: 'intent-timer', requestId, timer, round } as const;
+      return toStep<KeyedState, EntryEffect>(state, { kind: 'schedule', delayMs, event });
+    }
+    default:
+      return assertNever(effect);
+  }
+};
+
+/**
+ * Applies one event to the intent of a keyed call.
+ *
+ * @param state - keyed call
+ * @param event - event of its intent
+ * @param inputs - endpoints, estimates and the key's chain
+ * @returns the step of the request
+ */
+export const applyIntent = (
+  state: KeyedState,
+  event: IntentEvent,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const step = decideIntent(state.intent, event, toView(state, inputs));
+  let current: KeyedState = { ...state, intent: step.state };
+  const effects: EntryEffect[] = [];
+  for (const effect of step.effects) {
+    const next = applyIntentEffect(current, effect, inputs);
+    effects.push(...next.effects);
+    if (next.state?.kind === 'keyed') current = next.state;
+  }
+  return { state: current.intent.kind === 'finished' ? null : current, effects };
+};
+
+const toDispatchResult = (completion: CallCompletion): DispatchResult => {
+  switch (completion.kind) {
+    case 'call-answered':
+      return { kind: 'answered', answer: toStored(completion.answer) };
+    case 'call-failed': {
+      const { failure } = completion;
+      return { kind: failure.verdict === 'not-run' ? 'refused' : 'unknown', failure };
+    }
+    default:
+      return assertNever(completion);
+  }
+};
+
+/**
+ * Applies the end of a dispatch.
+ *
+ * @param state - keyed call
+ * @param completion - how the dispatch ended
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyKeyedCompletion = (
+  state: KeyedState,
+  completion: CallCompletion,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const { intent } = state;
+  if (intent.kind !== 'dispatched' || completion.attempt !== state.attempts) return toStep(state);
+  const { nonce } = intent.place;
+  const result = toDispatchResult(completion);
+  const ended = completion.kind === 'call-failed' ? [logAttemptEnd(state, completion.failure)] : [];
+  const step = applyIntent(state, { kind: 'dispatch-ended', nonce, result }, inputs);
+  return { state: step.state, effects: [...ended, ...step.effects] };
+};
+
+/**
+ * Reads the reply of an endpoint daemon to a fence.
+ *
+ * @param answer - reply as the adapter received it
+ * @returns the reply for the intent
+ */
+export const toFenceResult = (answer: FenceAnswer): FenceResult => {
+  switch (answer.kind) {
+    case 'fenced':
+    case 'started':
+    case 'unknown-incarnation':
+      return { kind: answer.kind };
+    case 'unreachable':
+      return { kind: 'unreachable' };
+    case 'finished': {
+      const stored = answer.answer === null ? null : toStored(answer.answer);
+      return {
+        kind: 'finished',
+        answer: stored,
+        status: stored?.status ?? null,
+        bodyDigest: stored?.bodyDigest ?? null,
+      };
+    }
+    default:
+      return assertNever(answer);
+  }
+};
--- /dev/null
+++ b/packages/entry/requests/outcomes.ts
@@ -0,0 +1,91 @@
+import type { RequestsInputs } from './inputs.js';
+import type { RequestState } from './types.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { Failure, FailureCode } from '../../core/verdict.js';
+import type { EntryEffect } from '../events.js';
+
+/** Next state of one request; null when it is over. */
+export type RequestStep = Step<RequestState | null, EntryEffect>;
+
+/**
+ * Ends a request with a failure.
+ *
+ * @param state - request that fails
+ * @param failure - what the caller is told
+ * @param inputs - own placements
+ * @param effects - effects that come before
+ * @returns the step that ends the request
+ */
+export const failRequest = (
+  state: RequestState,
+  failure: Failure,
+  inputs: RequestsInputs,
+  effects: readonly EntryEffect[] = [],
+): RequestStep => {
+  const { requestId } = state.request;
+  inputs.own.releasePlacement(requestId, inputs.now());
+  return toStep<RequestState | null, EntryEffect>(
+    null,
+    ...effects,
+    { kind: 'fail-request', requestId, failure },
+    {
+      kind: 'log',
+      name:
+        failure.code === 'shed' || failure.code === 'overloaded'
+          ? 'request-shed'
+          : 'request-failed',
+      details: {
+        requestId,
+        ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+        data: {
+          code: failure.code,
+          verdict: failure.verdict,
+          message: failure.message,
+          class: state.policy.className,
+          attempts: state.attempts,
+        },
+      },
+    },
+  );
+};
+
+/** Refusals that tell only of room or of a change that the next heartbeat will show. */
+const BOUNCE_CODES: ReadonlySet<FailureCode> = new Set([
+  'overloaded',
+  'draining',
+  'data-centre-out',
+  'stale-incarnation',
+  'endpoint-lost',
+]);
+
+/**
+ * Tells whether a failure is a refusal by an endpoint daemon that leaves the request to others.
+ * It costs no retry budget, since no endpoint worked on the request.
+ *
+ * @param failure - how the attempt ended
+ * @returns true for a bounce
+ */
+export const isBounce = (failure: Failure): boolean =>
+  failure.verdict === 'not-run' && BOUNCE_CODES.has(failure.code);
+
+/**
+ * Describes the end of an attempt for the time line.
+ *
+ * @param state - request
+ * @param failure - how the attempt ended, or null for success
+ * @returns the log effect
+ */
+export const logAttemptEnd = (state: RequestState, failure: Failure | null): EntryEffect => ({
+  kind: 'log',
+  name: 'attempt-ended',
+  details: {
+    requestId: state.request.requestId,
+    ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+    data: {
+      verdict: failure?.verdict ?? 'ran',
+      code: failure?.code ?? 'ok',
+      message: failure?.message ?? '',
+    },
+  },
+});
--- /dev/null
+++ b/packages/entry/requests/types.ts
@@ -0,0 +1,89 @@
+import type { Millis } from '../../core/clock.js';
+import type {
+  ClassName,
+  EndpointId,
+  Incarnation,
+  ModelName,
+  RequestId,
+  VersionName,
+} from '../../core/ids.js';
+import type { IntentState } from '../../decisions/idempotency/types.js';
+import type { ClassTargets } from '../../decisions/placement/types.js';
+import type { DeliveryState } from '../../decisions/streams/types.js';
+import type { GenerationRequest, ResumeRequest, ServiceRequest } from '../types.js';
+
+/** What operators published for a class, or the defaults. */
+export interface ClassPolicy extends ClassTargets {
+  readonly firstTokenMs: Millis;
+  readonly tokenGapMs: Millis;
+  /** Gap between tokens from which on a stream counts as stalled. */
+  readonly stallMs: Millis;
+  readonly deadlineMs: Millis;
+  readonly repeat: 'allowed' | 'never';
+  readonly delivery: 'stream' | 'whole';
+}
+
+/** Endpoint that holds a request now. */
+export interface Placed {
+  readonly endpoint: EndpointId;
+  readonly incarnation: Incarnation;
+  readonly url: string;
+  readonly model: ModelName;
+  readonly version: VersionName;
+  readonly placedAt: Millis;
+}
+
+interface RequestBase {
+  readonly policy: ClassPolicy;
+  readonly deadlineAt: Millis;
+  /** Endpoints that failed or refused this request. */
+  readonly excluded: ReadonlySet<EndpointId>;
+  /** Attempts that reached an endpoint daemon. */
+  readonly attempts: number;
+  /** Refusals of endpoint daemons that had less room than their last report said. */
+  readonly bounces: number;
+  readonly place: Placed | null;
+  readonly waiting: 'in-queue' | 'for-retry' | 'no';
+  /** Version chosen by a move for this request; kept over its attempts. */
+  readonly version: VersionName | null;
+  /** Why the last attempt failed, for the caller when the deadline passes. */
+  readonly lastFailureText: string;
+}
+
+export interface GenerationState extends RequestBase {
+  readonly kind: 'generation';
+  readonly request: GenerationRequest | ResumeRequest;
+  readonly delivery: DeliveryState;
+  readonly firstChunkAt: Millis | null;
+  readonly lastChunkAt: Millis | null;
+}
+
+export interface CallState extends RequestBase {
+  readonly kind: 'call';
+  readonly request: ServiceRequest;
+}
+
+/** A call that runs at most once. */
+export interface KeyedState extends RequestBase {
+  readonly kind: 'keyed';
+  readonly request: ServiceRequest;
+  readonly key: string;
+  readonly intent: IntentState;
+}
+
+export type RequestState = GenerationState | CallState | KeyedState;
+
+/**
+ * Requests of this daemon. The map is owned by the `requests` child and updated in place, since
+ * thousands of streams change it many times a second.
+ */
+export interface RequestsState {
+  readonly table: Map<RequestId, RequestState>;
+  /** Requests that wait for room, in order. */
+  readonly queue: RequestId[];
+  phase: 'accepting' | 'handing-over';
+}
+
+export type ClassLookup =
+  | { readonly kind: 'found'; readonly policy: ClassPolicy }
+  | { readonly kind: 'unknown'; readonly className: ClassName };
