--- /dev/null
+++ b/packages/decisions/placement/headroom.ts
@@ -0,0 +1,179 @@
+import { computeClassMemory } from './eligible.js';
+import {
+  DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
+  MAX_EXTRAPOLATION_MS,
+  PREFIX_FRESHNESS_MS,
+  PREFIX_GAP_FACTOR,
+  SAME_DATA_CENTRE_BONUS,
+} from './constants.js';
+import type {
+  EndpointView,
+  OwnView,
+  PlacementCandidate,
+  PlacementPolicy,
+  PlacementRequest,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { VersionName } from '../../core/ids.js';
+import {
+  applyNewSequence,
+  applyUnknownSequences,
+  clearMemoryChange,
+  createMemoryChange,
+  estimateMemory,
+  mergeMemoryChange,
+} from '../survival/forecast.js';
+import type { MemoryBudget, MemoryChange, MemoryPrediction } from '../survival/forecast.js';
+import type { SurvivalView } from '../survival/types.js';
+
+export type HeadroomPolicy = Extract<PlacementPolicy, { readonly kind: 'predicted-headroom' }>;
+
+/** An endpoint compared for a request, and whether its predicted memory admits the request. */
+export interface TestedEndpoint {
+  readonly view: EndpointView;
+  readonly candidate: PlacementCandidate;
+  readonly room: 'fits' | 'too-full';
+  /** Worth of the cached prefix, as a share of memory. */
+  readonly prefixWorth: number;
+}
+
+/** Inputs that are the same for all endpoints compared in one decision. */
+export interface HeadroomInputs {
+  readonly policy: HeadroomPolicy;
+  readonly request: PlacementRequest;
+  readonly own: OwnView;
+  readonly survival: SurvivalView;
+  /** Predicted change by the request itself, per version of an endpoint. */
+  readonly requestChanges: Map<VersionName, MemoryChange>;
+  /** Reused for every endpoint, since a decision must not allocate per candidate. */
+  readonly scratch: MemoryChange;
+}
+
+/**
+ * Prepares the inputs of one decision.
+ *
+ * @param policy - horizon, bounds and weights
+ * @param request - what is to be placed
+ * @param own - this daemon's placements
+ * @param survival - length estimates
+ * @returns the inputs, used for this decision only
+ */
+export const buildInputs = (
+  policy: HeadroomPolicy,
+  request: PlacementRequest,
+  own: OwnView,
+  survival: SurvivalView,
+): HeadroomInputs => ({
+  policy,
+  request,
+  own,
+  survival,
+  requestChanges: new Map(),
+  scratch: createMemoryChange(),
+});
+
+const computeHorizonTokens = (endpoint: EndpointView, horizonMs: Millis): number => {
+  const perSequence =
+    endpoint.running > 0 && endpoint.tokensPerSecond > 0
+      ? endpoint.tokensPerSecond / endpoint.running
+      : DEFAULT_SEQUENCE_TOKENS_PER_SECOND;
+  return (perSequence * horizonMs) / 1_000;
+};
+
+/** The request's own change depends on the endpoint's version alone, so it is computed once. */
+const getRequestChange = (inputs: HeadroomInputs, version: VersionName): MemoryChange => {
+  const known = inputs.requestChanges.get(version);
+  if (known !== undefined) return known;
+  const { targets, customer, promptTokens } = inputs.request;
+  const curve = inputs.survival.getCurve({ className: targets.className, customer, version });
+  const change = createMemoryChange();
+  applyNewSequence(change, curve, promptTokens);
+  inputs.requestChanges.set(version, change);
+  return change;
+};
+
+const estimateEndpointMemory = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+): MemoryPrediction => {
+  const { request, survival, scratch } = inputs;
+  const load = inputs.own.getLoad(endpoint.endpoint);
+  const growth =
+    (endpoint.tokensPerSecond * Math.min(endpoint.loadAgeMs, MAX_EXTRAPOLATION_MS)) / 1_000;
+  const kept = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
+  clearMemoryChange(scratch);
+  mergeMemoryChange(scratch, getRequestChange(inputs, endpoint.version ?? ''));
+  if (load !== undefined) mergeMemoryChange(scratch, load.change);
+  const unknown = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
+  if (unknown > 0) {
+    const tokens = Math.max(0, kept - (load?.includedTokens ?? 0));
+    applyUnknownSequences(scratch, survival, unknown, tokens / unknown);
+  }
+  const budget: MemoryBudget = {
+    used: kept + growth + (load?.newTokens ?? 0),
+    total: computeClassMemory(endpoint.memoryTotalTokens, request.targets),
+    horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
+  };
+  return estimateMemory(budget, scratch);
+};
+
+const computePrefixWorth = (inputs: HeadroomInputs, endpoint: EndpointView): number => {
+  const { prefix } = inputs.request;
+  if (prefix === undefined || !endpoint.prefixes.has(prefix)) return 0;
+  const freshness = Math.exp(-endpoint.prefixAgeMs / PREFIX_FRESHNESS_MS);
+  return inputs.policy.prefixWeight * freshness * PREFIX_GAP_FACTOR ** endpoint.prefixGaps;
+};
+
+const computeScore = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+  requests: number,
+  memory: MemoryPrediction,
+): number => {
+  const near = endpoint.dataCentre === inputs.request.dataCentre ? SAME_DATA_CENTRE_BONUS : 0;
+  const freeSlots = 1 - (requests + 1) / endpoint.limit;
+  switch (inputs.request.targets.answerLength) {
+    case 'short':
+      // A short answer ends before memory matters; it waits for the requests ahead of it.
+      return near + freeSlots;
+    case 'long':
+      return near + memory.headroom;
+    default:
+      return assertNever(inputs.request.targets.answerLength);
+  }
+};
+
+/**
+ * Tests one endpoint for a request: predicted memory and score.
+ *
+ * @param inputs - request, policy and estimates
+ * @param endpoint - endpoint with a free slot
+ * @param requests - requests there now
+ * @returns the candidate with its score
+ */
+export const checkEndpoint = (
+  inputs: HeadroomInputs,
+  endpoint: EndpointView,
+  requests: number,
+): TestedEndpoint => {
+  const memory: MemoryPrediction =
+    endpoint.memoryTotalTokens > 0
+      ? estimateEndpointMemory(inputs, endpoint)
+      : { overflowProbability: 0, headroom: 1 - (requests + 1) / endpoint.limit };
+  const accepted = inputs.request.targets.overflowProbability ?? inputs.policy.overflowProbability;
+  const prefixWorth = computePrefixWorth(inputs, endpoint);
+  return {
+    view: endpoint,
+    candidate: {
+      endpoint: endpoint.endpoint,
+      score: computeScore(inputs, endpoint, requests, memory) + prefixWorth,
+      requests,
+      overflowProbability: memory.overflowProbability,
+      headroom: memory.headroom,
+    },
+    // An idle engine takes any request, or one that is longer than expected would wait for ever.
+    room: requests === 0 || memory.overflowProbability <= accepted ? 'fits' : 'too-full',
+    prefixWorth,
+  };
+};
