--- /dev/null
+++ b/packages/decisions/membership/heartbeatTargets.ts
@@ -0,0 +1,26 @@
+import type { EndpointId, InstanceId } from '../../core/ids.js';
+
+/** Hash of a text, evenly spread over the numbers that it can return. */
+export type TextHash = (text: string) => number;
+
+/**
+ * Chooses the entry daemons that an endpoint daemon sends heartbeats to, by rendezvous hashing:
+ * when an instance comes or goes, only the choices that involve it change.
+ *
+ * @param endpoint - endpoint that chooses
+ * @param entryInstances - entry instances known to it, in any order
+ * @param subsetSize - number of instances to choose
+ * @param hash - hash of a text
+ * @returns at most `subsetSize` instances, the highest score first
+ */
+export const chooseHeartbeatTargets = (
+  endpoint: EndpointId,
+  entryInstances: readonly InstanceId[],
+  subsetSize: number,
+  hash: TextHash,
+): readonly InstanceId[] =>
+  entryInstances
+    .map((instance) => ({ instance, score: hash(`${endpoint}\n${instance}`) }))
+    .sort((left, right) => right.score - left.score || (left.instance < right.instance ? -1 : 1))
+    .slice(0, subsetSize)
+    .map(({ instance }) => instance);
--- /dev/null
+++ b/packages/decisions/membership/membership.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { chooseHeartbeatTargets } from './heartbeatTargets.js';
+import { checkNewWork, decideLease, initLease } from './lease.js';
+import type { LeaseEvent } from './leaseTypes.js';
+import { checkEligibility, decideMembership, initMembership } from './membership.js';
+import type { MembershipEvent, ReportedPhase } from './types.js';
+
+const SEED = 99;
+const RUNS = 1_000;
+
+const buildHeartbeat = (
+  incarnation: string,
+  sequence: number,
+  phase: ReportedPhase,
+  now: number,
+): MembershipEvent<null> => {
+  const heartbeat = { endpoint: 'e', dataCentre: 'd', incarnation, sequence, phase, report: null };
+  return { kind: 'heartbeat', heartbeat, now };
+};
+
+const run = (...events: readonly MembershipEvent<null>[]) =>
+  events.reduce((state, event) => decideMembership(state, event).state, initMembership<null>());
+
+// Guards against a late heartbeat that brings a draining endpoint or an older process back.
+test('the newest heartbeat decides, whatever order the heartbeats arrive in', (t) => {
+  const anyOrder = fc.shuffledSubarray(
+    ['i1', 'i2'].flatMap((incarnation) => [1, 2, 3].map((sequence) => ({ incarnation, sequence }))),
+    { minLength: 1 },
+  );
+  const property = fc.property(anyOrder, (order) => {
+    const events = order.map(({ incarnation, sequence }) =>
+      buildHeartbeat(incarnation, sequence, sequence === 3 ? 'draining' : 'serving', 0),
+    );
+    const newest = order.reduce((best, heartbeat) => {
+      const isNewer = `${heartbeat.incarnation}${heartbeat.sequence.toString()}`;
+      return isNewer > `${best.incarnation}${best.sequence.toString()}` ? heartbeat : best;
+    });
+    const known = run(...events).endpoints.get('e')?.newest;
+    return known?.incarnation === newest.incarnation && known.sequence === newest.sequence;
+  });
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  t.pass();
+});
+
+// Guards against work for a silent endpoint between two ticks, and against one that never expires.
+test('silence makes an endpoint suspect after 1.5 s and gone after 5 s', (t) => {
+  const state = run(buildHeartbeat('i1', 1, 'serving', 0));
+  t.is(checkEligibility(state, 'e', 1_499), 'eligible');
+  t.is(checkEligibility(state, 'e', 1_500), 'suspect');
+  const suspect = decideMembership(state, { kind: 'tick', now: 1_500 });
+  t.like(suspect.effects[0], { kind: 'phase-changed', from: 'serving', to: 'suspect' });
+  const gone = decideMembership(suspect.state, { kind: 'tick', now: 5_000 });
+  t.like(gone.effects[0], { kind: 'phase-changed', from: 'suspect', to: 'gone' });
+  const back = decideMembership(gone.state, buildHeartbeat('i2', 1, 'ramping', 6_000));
+  t.like(back.effects[0], { kind: 'incarnation-replaced', older: 'i1', newer: 'i2' });
+  t.is(checkEligibility(back.state, 'e', 6_000), 'eligible');
+});
+
+// Guards against heartbeats from before a pause of this process that count as news.
+test('after a pause only heartbeats that arrive later than the backlog count', (t) => {
+  const paused = run(buildHeartbeat('i1', 1, 'serving', 0), { kind: 'own-pause', now: 900 });
+  t.is(checkEligibility(paused, 'e', 900), 'suspect');
+  const backlog = decideMembership(paused, buildHeartbeat('i1', 2, 'serving', 1_000)).state;
+  t.is(checkEligibility(backlog, 'e', 1_000), 'suspect');
+  const fresh = decideMembership(backlog, buildHeartbeat('i1', 3, 'serving', 1_400)).state;
+  t.is(checkEligibility(fresh, 'e', 1_400), 'eligible');
+});
+
+// Guards against a lagging list that starts, stops or forgets endpoints against their heartbeats.
+test('the list proposes endpoints and marks leaving ones, and heartbeats do the rest', (t) => {
+  const listed = { endpoint: 'e', dataCentre: 'd', state: 'live' } as const;
+  const proposed = run({ kind: 'instance-list', instances: [listed], now: 0 });
+  t.is(checkEligibility(proposed, 'e', 0), 'starting');
+  const serving = decideMembership(proposed, buildHeartbeat('i1', 1, 'serving', 100)).state;
+  const list = (
+    instances: readonly (typeof listed | { endpoint: 'e'; dataCentre: 'd'; state: 'leaving' })[],
+  ) => decideMembership(serving, { kind: 'instance-list', instances, now: 200 }).state;
+  t.is(checkEligibility(list([]), 'e', 200), 'eligible');
+  t.is(checkEligibility(list([{ ...listed, state: 'leaving' }]), 'e', 200), 'draining');
+  const out = { kind: 'configuration', dataCentresOut: ['d'], offset: 5 } as const;
+  const older = { kind: 'configuration', dataCentresOut: [], offset: 4 } as const;
+  const taken = run(buildHeartbeat('i1', 1, 'serving', 0), out, older);
+  t.is(checkEligibility(taken, 'e', 0), 'data-centre-out');
+});
+
+const runLease = (...events: readonly LeaseEvent[]) =>
+  events.reduce((state, event) => decideLease(state, event).state, initLease('i1'));
+
+// Guards against a paused process that acts on old knowledge, and against a lease that an entry
+// daemon without the newest configuration renews alone.
+test('a lease counts from the sending, ends with a pause and waits for all targets after it', (t) => {
+  const targets = ['a', 'b'];
+  const first = runLease(
+    { kind: 'heartbeat-sent', sequence: 1, targets, now: 0 },
+    { kind: 'heartbeat-acknowledged', sequence: 1, from: 'a', now: 100 },
+  );
+  t.is(checkNewWork(first, 'i1', 100)?.code, 'endpoint-lost');
+  const held = decideLease(first, {
+    kind: 'heartbeat-acknowledged',
+    sequence: 1,
+    from: 'b',
+    now: 200,
+  }).state;
+  t.is(checkNewWork(held, 'i1', 200), null);
+  t.is(checkNewWork(held, 'i0', 200)?.code, 'stale-incarnation');
+  t.is(checkNewWork(held, 'i1', 900)?.verdict, 'not-run');
+  const ticks = [400, 800, 1_200, 1_600, 1_999].map((now) => ({ kind: 'tick', now }) as const);
+  const ticked = ticks.reduce((state, event) => decideLease(state, event).state, held);
+  t.is(checkNewWork(ticked, 'i1', 1_999), null);
+  t.is(checkNewWork(ticked, 'i1', 2_000)?.code, 'endpoint-lost');
+});
+
+const hashText = (text: string): number =>
+  [...text].reduce((sum, char) => Math.imul(sum ^ char.charCodeAt(0), 0x0100_0193) >>> 0, 7);
+
+// Guards against a change of one entry instance that moves the heartbeats of all endpoints.
+test('a removed entry instance changes only the choices that included it', (t) => {
+  const names = fc.uniqueArray(fc.uuid(), { minLength: 4, maxLength: 30 });
+  const property = fc.property(names, fc.uuid(), (instances, endpoint) => {
+    const before = chooseHeartbeatTargets(endpoint, instances, 3, hashText);
+    const [removed, ...rest] = instances;
+    const after = chooseHeartbeatTargets(endpoint, rest.reverse(), 3, hashText);
+    const kept = before.filter((instance) => instance !== removed);
+    return after.length === 3 && kept.every((instance) => after.includes(instance));
+  });
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  t.pass();
+});
