Start the whole system as processes: cluster, demo and run commands

The demo, process tests and the load tool need stand-ins and daemons as real processes on loopback. packages/cluster owns them in one loop: pure decisions over process states, adapters for child processes, the instance list and readiness, and a TCP balancer as a stand-in of the platform's. Commands that serve can stop with their standard input, so that no process outlives the tool that started it.

--- /dev/null
+++ b/app/commands/demo.ts
@@ -0,0 +1,21 @@
+import { Command, Flags } from '@oclif/core';
+import { serveDemo, runDemo } from '../demo/runDemo.js';
+import { JSON_FLAG, PORT_FLAG } from '../flags.js';
+import { printOutcome } from '../output.js';
+
+export default class Demo extends Command {
+  static override summary = 'Start a whole system on loopback and show what it does.';
+  static override description =
+    'Starts two entry daemons, three engines and a ledger service with their endpoint daemons as processes of their own, streams a generation, looks up a balance, sends one sweep twice, and prints the time line of the calls. With --keep it prints the addresses and keys and serves until SIGINT or SIGTERM.';
+  static override flags = {
+    keep: Flags.boolean({ summary: 'Make no calls, and serve until a signal.', default: false }),
+    port: PORT_FLAG,
+    json: JSON_FLAG,
+  };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(Demo);
+    if (flags.keep) await serveDemo(flags.port, flags.json ? 'json' : 'text');
+    else printOutcome(await runDemo(flags.port), flags.json);
+  }
+}
--- a/app/commands/standin/engine.ts
+++ b/app/commands/standin/engine.ts
@@ -1,7 +1,37 @@
 import { Command, Flags } from '@oclif/core';
-import { JSON_FLAG, PORT_FLAG } from '../../flags.js';
+import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
+import { selectPresent } from '../../optionalFields.js';
 import { serveUntilSignal } from '../../serving.js';
 import { startEngineStandin } from '../../../packages/standins/engine/startEngineStandin.js';
+import type { EngineOptions } from '../../../packages/standins/engine/types.js';
+
+/** Start options that are whole numbers, by flag, with the smallest value. */
+const NUMBER_FLAGS = {
+  'memory-tokens': Flags.integer({ summary: 'Memory in tokens.', min: 1 }),
+  'warm-up-ms': Flags.integer({ summary: 'Time until the engine is ready.', min: 0 }),
+  'step-base-ms': Flags.integer({ summary: 'Time of one step of an empty batch.', min: 1 }),
+  'max-running': Flags.integer({ summary: 'Sequences in one batch at the most.', min: 1 }),
+  'cold-concurrency': Flags.integer({ summary: 'Sequences borne after the warm-up.', min: 1 }),
+  'warm-concurrency': Flags.integer({ summary: 'Sequences borne after the ramp.', min: 1 }),
+  'ramp-ms': Flags.integer({ summary: 'Time of the ramp after the warm-up.', min: 0 }),
+  'mean-output-tokens': Flags.integer({ summary: 'Mean length of outputs.', min: 1 }),
+  'load-lag-ms': Flags.integer({ summary: 'Interval of the published load figures.', min: 0 }),
+};
+
+type NumberFlags = Readonly<Partial<Record<keyof typeof NUMBER_FLAGS, number | undefined>>>;
+
+const toSizes = (flags: NumberFlags): EngineOptions =>
+  selectPresent({
+    memoryTokens: flags['memory-tokens'],
+    warmUpMs: flags['warm-up-ms'],
+    stepBaseMs: flags['step-base-ms'],
+    maxRunning: flags['max-running'],
+    coldConcurrency: flags['cold-concurrency'],
+    warmConcurrency: flags['warm-concurrency'],
+    rampMs: flags['ramp-ms'],
+    meanOutputTokens: flags['mean-output-tokens'],
+    loadLagMs: flags['load-lag-ms'],
+  });
 
 export default class StandinEngine extends Command {
   static override summary = 'Run the stand-in of a model engine until SIGINT or SIGTERM.';
@@ -14,26 +44,19 @@
       summary: 'Whether control orders with an old fencing number are refused.',
     })(),
     seed: Flags.integer({ summary: 'Seed of the output lengths.' }),
-    'memory-tokens': Flags.integer({ summary: 'Memory in tokens.', min: 1 }),
-    'warm-up-ms': Flags.integer({ summary: 'Time until the engine is ready.', min: 0 }),
-    json: JSON_FLAG,
+    ...NUMBER_FLAGS,
+    ...SERVING_FLAGS,
   };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(StandinEngine);
-    const { port, model, version, fencing, seed, json } = flags;
-    const memoryTokens = flags['memory-tokens'];
-    const warmUpMs = flags['warm-up-ms'];
+    const { port, model, version, fencing, seed } = flags;
     const standin = await startEngineStandin({
       port,
-      ...(model === undefined ? {} : { model }),
-      ...(version === undefined ? {} : { version }),
-      ...(fencing === undefined ? {} : { fencing }),
-      ...(seed === undefined ? {} : { seed }),
-      ...(memoryTokens === undefined ? {} : { memoryTokens }),
-      ...(warmUpMs === undefined ? {} : { warmUpMs }),
+      ...selectPresent({ model, version, fencing, seed }),
+      ...toSizes(flags),
     });
     const serving = { urls: { engine: standin.url }, stop: standin.close };
-    await serveUntilSignal('engine stand-in', serving, json);
+    await serveUntilSignal('engine stand-in', serving, flags);
   }
 }
--- a/app/commands/standin/platform.ts
+++ b/app/commands/standin/platform.ts
@@ -1,5 +1,6 @@
 import { Command, Flags } from '@oclif/core';
-import { JSON_FLAG, PORT_FLAG } from '../../flags.js';
+import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
+import { selectPresent } from '../../optionalFields.js';
 import { serveUntilSignal } from '../../serving.js';
 import { startPlatformStandin } from '../../../packages/standins/platform/startPlatformStandin.js';
 
@@ -11,21 +12,20 @@
     'appends-per-second': Flags.integer({ summary: 'Append requests taken a second.', min: 1 }),
     'retention-records': Flags.integer({ summary: 'Records kept in each stream.', min: 1 }),
     'list-lag-ms': Flags.integer({ summary: 'Lag of the instance list.', min: 0 }),
-    json: JSON_FLAG,
+    ...SERVING_FLAGS,
   };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(StandinPlatform);
-    const appendsPerSecond = flags['appends-per-second'];
-    const retentionRecords = flags['retention-records'];
-    const listLagMs = flags['list-lag-ms'];
     const standin = await startPlatformStandin({
       port: flags.port,
-      ...(appendsPerSecond === undefined ? {} : { appendsPerSecond }),
-      ...(retentionRecords === undefined ? {} : { retentionRecords }),
-      ...(listLagMs === undefined ? {} : { listLagMs }),
+      ...selectPresent({
+        appendsPerSecond: flags['appends-per-second'],
+        retentionRecords: flags['retention-records'],
+        listLagMs: flags['list-lag-ms'],
+      }),
     });
     const serving = { urls: { platform: standin.url }, stop: standin.close };
-    await serveUntilSignal('platform stand-in', serving, flags.json);
+    await serveUntilSignal('platform stand-in', serving, flags);
   }
 }
--- a/app/commands/standin/service.ts
+++ b/app/commands/standin/service.ts
@@ -1,5 +1,5 @@
 import { Command, Flags } from '@oclif/core';
-import { JSON_FLAG, PORT_FLAG } from '../../flags.js';
+import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
 import { serveUntilSignal } from '../../serving.js';
 import { startLedgerStandin } from '../../../packages/standins/ledger/startLedgerStandin.js';
 
@@ -14,7 +14,7 @@
       max: 65_535,
     }),
     'call-ms': Flags.integer({ summary: 'Usual time of one call.', min: 0 }),
-    json: JSON_FLAG,
+    ...SERVING_FLAGS,
   };
 
   async run(): Promise<void> {
@@ -26,6 +26,6 @@
       ...(callMs === undefined ? {} : { callMs }),
     });
     const urls = { service: standin.url, inspection: standin.inspectionUrl };
-    await serveUntilSignal('service stand-in', { urls, stop: standin.close }, flags.json);
+    await serveUntilSignal('service stand-in', { urls, stop: standin.close }, flags);
   }
 }
--- a/app/flags.ts
+++ b/app/flags.ts
@@ -45,3 +45,12 @@
   min: 0,
   max: 65_535,
 });
+
+/** Flags of every command that serves until a signal. */
+export const SERVING_FLAGS = {
+  'stop-with-input': Flags.boolean({
+    summary: 'Stop also when standard input ends, as when the tool that started the process dies.',
+    default: false,
+  }),
+  json: JSON_FLAG,
+};
--- a/app/serving.ts
+++ b/app/serving.ts
@@ -5,15 +5,30 @@
   readonly stop: () => Promise<void>;
 }
 
-const waitForSignal = (): Promise<void> =>
+/** Flags of every command that serves. */
+export interface ServingFlags {
+  readonly json: boolean;
+  readonly 'stop-with-input': boolean;
+}
+
+const END_SIGNALS = ['SIGINT', 'SIGTERM'] as const;
+
+/**
+ * Waits for SIGINT or SIGTERM, or for the end of standard input if that is watched too.
+ *
+ * @param input - whether the end of standard input counts
+ * @returns a promise that resolves once; a second signal then ends the process at once
+ */
+export const waitForEnd = (input: 'watched' | 'ignored'): Promise<void> =>
   new Promise((resolve) => {
     const handle = (): void => {
-      process.off('SIGINT', handle);
-      process.off('SIGTERM', handle);
+      for (const signal of END_SIGNALS) process.off(signal, handle);
+      // An open standard input would keep the process alive.
+      if (input === 'watched') process.stdin.off('close', handle).destroy();
       resolve();
     };
-    process.on('SIGINT', handle);
-    process.on('SIGTERM', handle);
+    for (const signal of END_SIGNALS) process.on(signal, handle);
+    if (input === 'watched') process.stdin.on('close', handle).resume();
   });
 
 const formatUrls = (name: string, urls: Serving['urls']): string =>
@@ -26,17 +41,19 @@
  *
  * @param name - what serves, for the text
  * @param serving - addresses and stop function
- * @param json - value of the `--json` flag
+ * @param flags - form of the addresses, and what ends the process
  */
 export const serveUntilSignal = async (
   name: string,
   serving: Serving,
-  json: boolean,
+  flags: ServingFlags,
 ): Promise<void> => {
-  const signal = waitForSignal();
+  const end = waitForEnd(flags['stop-with-input'] ? 'watched' : 'ignored');
   process.stdout.write(
-    json ? `${JSON.stringify({ name, urls: serving.urls })}\n` : formatUrls(name, serving.urls),
+    flags.json
+      ? `${JSON.stringify({ name, urls: serving.urls })}\n`
+      : formatUrls(name, serving.urls),
   );
-  await signal;
+  await end;
   await serving.stop();
 };
--- /dev/null
+++ b/packages/cluster/callers/standinPages.ts
@@ -0,0 +1,33 @@
+import { request } from 'undici';
+import { z } from 'zod';
+
+const EXECUTIONS_SCHEMA = z.object({ count: z.number() });
+
+/**
+ * Counts how often a ledger stand-in ran the calls of a key.
+ *
+ * @param inspectionUrl - address of its inspection pages
+ * @param key - idempotency key
+ * @returns the number of executions
+ */
+export const countExecutions = async (inspectionUrl: string, key: string): Promise<number> => {
+  const answer = await request(`${inspectionUrl}/executions?key=${encodeURIComponent(key)}`);
+  return EXECUTIONS_SCHEMA.parse(await answer.body.json()).count;
+};
+
+/**
+ * Applies a fault to a stand-in.
+ *
+ * @param url - address of the stand-in, or of the inspection pages of a ledger
+ * @param fault - body of `POST /faults`
+ * @throws Error when the stand-in refuses it
+ */
+export const applyFault = async (url: string, fault: object): Promise<void> => {
+  const answer = await request(`${url}/faults`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(fault),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode !== 200) throw new Error(`${url} refuses the fault: ${text}`);
+};
--- /dev/null
+++ b/packages/cluster/callers/streamClient.ts
@@ -0,0 +1,158 @@
+import { createParser } from 'eventsource-parser';
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { z } from 'zod';
+import type {
+  CallerTarget,
+  ChatOptions,
+  ProblemFields,
+  ReadStream,
+  StreamAnswer,
+  StreamEnd,
+  StreamEvent,
+  StreamProgress,
+} from './types.js';
+import { createWatch } from '../watch.js';
+
+const CHUNK_SCHEMA = z.object({
+  choices: z.array(z.object({ delta: z.object({ content: z.string().nullish() }).optional() })),
+});
+
+const PROBLEM_SCHEMA = z.object({
+  status: z.number(),
+  code: z.string(),
+  verdict: z.string(),
+  detail: z.string(),
+  requestId: z.string(),
+});
+
+/** Progress of a stream, with its end once it has one. */
+interface Reading extends StreamProgress {
+  readonly end: StreamEnd | undefined;
+  readonly firstChunkMs: number | undefined;
+}
+
+const UNREAD: Reading = {
+  texts: [],
+  lastEventId: undefined,
+  end: undefined,
+  firstChunkMs: undefined,
+};
+
+/**
+ * Parses a problem document.
+ *
+ * @param text - JSON
+ * @returns its fields
+ * @throws Error when the text is no problem document
+ */
+export const parseProblem = (text: string): ProblemFields => PROBLEM_SCHEMA.parse(JSON.parse(text));
+
+const readTexts = (data: string): readonly string[] =>
+  CHUNK_SCHEMA.parse(JSON.parse(data)).choices.flatMap(({ delta }) => {
+    const content = delta?.content ?? '';
+    return content === '' ? [] : [content];
+  });
+
+const applyEvent = (reading: Reading, event: StreamEvent, ageMs: number): Reading => {
+  if (event.event === 'error') {
+    return { ...reading, end: { kind: 'failed', problem: parseProblem(event.data) } };
+  }
+  if (event.data === '[DONE]') return { ...reading, end: { kind: 'done' } };
+  const texts = readTexts(event.data);
+  return {
+    ...reading,
+    texts: texts.length === 0 ? reading.texts : [...reading.texts, ...texts],
+    lastEventId: event.id ?? reading.lastEventId,
+    firstChunkMs: reading.firstChunkMs ?? ageMs,
+  };
+};
+
+const buildHeaders = (target: CallerTarget, options: ChatOptions): Record<string, string> => ({
+  authorization: `Bearer ${target.key}`,
+  'content-type': 'application/json',
+  accept: 'text/event-stream',
+  ...(options.className === undefined ? {} : { 'x-chestnutspan-class': options.className }),
+  ...(options.lastEventId === undefined ? {} : { 'last-event-id': options.lastEventId }),
+});
+
+const buildBody = ({ model, content, targetTokens }: ChatOptions): string =>
+  JSON.stringify({
+    model,
+    stream: true,
+    messages: [{ role: 'user', content }],
+    ...(targetTokens === undefined ? {} : { metadata: { target_tokens: targetTokens.toString() } }),
+  });
+
+/**
+ * Opens a stream at the callers' interface, or goes on with one.
+ *
+ * @param target - address and key
+ * @param options - model and prompt; with a last event id the stream is resumed
+ * @returns the stream, or the refusal
+ * @throws Error when nothing answers
+ */
+export const openStream = async (
+  target: CallerTarget,
+  options: ChatOptions,
+): Promise<StreamAnswer> => {
+  const startedAt = performance.now();
+  const answer = await request(`${target.baseUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: buildHeaders(target, options),
+    body: buildBody(options),
+    // A connection of its own: a caller that leaves must not disturb another.
+    reset: true,
+  });
+  const { statusCode: status } = answer;
+  if (status !== 200) {
+    return { kind: 'refused', status, problem: parseProblem(await answer.body.text()) };
+  }
+  return readAnswer(answer, startedAt);
+};
+
+const readAnswer = (
+  answer: Dispatcher.ResponseData,
+  startedAt: number,
+): Extract<StreamAnswer, { kind: 'stream' }> => {
+  const watch = createWatch<Reading>();
+  watch.publish(UNREAD);
+  const parser = createParser({
+    onEvent: ({ id, event, data }) => {
+      watch.publish(applyEvent(watch.get(), { id, event, data }, performance.now() - startedAt));
+    },
+  });
+  const finish = (reason: string): void => {
+    const reading = watch.get();
+    watch.publish({ ...reading, end: reading.end ?? { kind: 'cut', reason } });
+  };
+  const decoder = new TextDecoder();
+  answer.body.on('data', (bytes: Buffer) => {
+    parser.feed(decoder.decode(bytes, { stream: true }));
+  });
+  answer.body.once('end', () => {
+    finish('the connection ended without an end mark');
+  });
+  answer.body.once('error', (error) => {
+    finish(error.message);
+  });
+  answer.body.once('close', () => {
+    finish('the caller left');
+  });
+  const requestId = answer.headers['x-request-id'];
+  return {
+    kind: 'stream',
+    requestId: typeof requestId === 'string' ? requestId : '',
+    waitForChunks: (count) =>
+      watch.wait((reading) =>
+        reading.texts.length >= count || reading.end !== undefined ? reading : undefined,
+      ),
+    read: () =>
+      watch.wait((reading): ReadStream | undefined =>
+        reading.end === undefined ? undefined : { ...reading, end: reading.end },
+      ),
+    leave: () => {
+      answer.body.destroy();
+    },
+  };
+};
--- /dev/null
+++ b/packages/cluster/plan.ts
@@ -0,0 +1,146 @@
+import {
+  DEFAULT_DATA_CENTRES,
+  DEFAULT_ENGINES,
+  DEFAULT_ENTRY_DAEMONS,
+  DEFAULT_LEDGERS,
+  DEFAULT_MODEL,
+  DEFAULT_VERSION,
+  LEDGER_SERVICE,
+} from './constants.js';
+import type { ProcessSpec } from './processes/types.js';
+import type { ClusterOptions, EngineSpec, EngineStandinOptions } from './types.js';
+import type { DataCentreId, ModelName, VersionName } from '../core/ids.js';
+
+/** What an endpoint daemon stands before. */
+export type EndpointTarget =
+  | {
+      readonly kind: 'model';
+      readonly model: ModelName;
+      readonly version: VersionName;
+      readonly fencing: 'checked' | 'ignored';
+    }
+  | { readonly kind: 'service'; readonly service: string; readonly version: VersionName };
+
+/** A stand-in with the endpoint daemon beside it. */
+export interface PlannedEndpoint {
+  readonly standin: ProcessSpec;
+  readonly endpoint: string;
+  readonly dataCentre: DataCentreId;
+  readonly target: EndpointTarget;
+}
+
+export interface PlannedEntry {
+  readonly name: string;
+  readonly dataCentre: DataCentreId;
+}
+
+/** Everything that a cluster starts, in start order. */
+export interface ClusterPlan {
+  readonly platform: ProcessSpec;
+  readonly endpoints: readonly PlannedEndpoint[];
+  readonly entries: readonly PlannedEntry[];
+  readonly dataCentres: readonly DataCentreId[];
+  readonly models: readonly ModelName[];
+}
+
+/** Number of processes of each kind, from which the next names come. */
+export interface Numbering {
+  readonly engines: number;
+  readonly endpoints: number;
+}
+
+const toFlags = (options: object): readonly string[] =>
+  Object.entries(options).flatMap(([name, value]) => {
+    if (value === undefined) return [];
+    const flag = name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+    return [`--${flag}`, String(value)];
+  });
+
+const buildStandin = (
+  command: 'platform' | 'engine' | 'service',
+  role: Extract<ProcessSpec, { kind: 'standin' }>['role'],
+  name: string,
+  options: object,
+): ProcessSpec => ({
+  kind: 'standin',
+  role,
+  name,
+  argv: ['standin', command, '--json', '--stop-with-input', ...toFlags(options)],
+});
+
+/**
+ * Plans an engine and its endpoint daemon.
+ *
+ * @param spec - model, version, place and start options
+ * @param numbering - processes that exist
+ * @param dataCentres - data centres that are taken in turn
+ * @returns the plan
+ */
+export const planEngine = (
+  spec: EngineSpec,
+  numbering: Numbering,
+  dataCentres: readonly DataCentreId[],
+): PlannedEndpoint => {
+  const model = spec.model ?? DEFAULT_MODEL;
+  const version = spec.version ?? DEFAULT_VERSION;
+  const { fencing = 'checked', ...rest }: EngineStandinOptions = spec.standin ?? {};
+  const options = { model, version, fencing, ...rest };
+  return {
+    standin: buildStandin(
+      'engine',
+      'engine',
+      `engine-${(numbering.engines + 1).toString()}`,
+      options,
+    ),
+    endpoint: `endpoint-${(numbering.endpoints + 1).toString()}`,
+    dataCentre: spec.dataCentre ?? pickInTurn(dataCentres, numbering.engines),
+    target: { kind: 'model', model, version, fencing },
+  };
+};
+
+const pickInTurn = (dataCentres: readonly DataCentreId[], index: number): DataCentreId =>
+  dataCentres[index % dataCentres.length] ?? DEFAULT_DATA_CENTRES[0];
+
+const planLedger = (
+  index: number,
+  endpoints: number,
+  dataCentres: readonly DataCentreId[],
+  options: object,
+): PlannedEndpoint => ({
+  standin: buildStandin('service', 'ledger', `ledger-${(index + 1).toString()}`, options),
+  endpoint: `endpoint-${(endpoints + 1).toString()}`,
+  dataCentre: pickInTurn(dataCentres, index),
+  target: { kind: 'service', service: LEDGER_SERVICE, version: DEFAULT_VERSION },
+});
+
+const buildRange = (length: number): readonly number[] =>
+  Array.from({ length }, (_, index) => index);
+
+/**
+ * Plans a cluster: names, places and the arguments of the stand-ins.
+ *
+ * @param options - what the cluster consists of
+ * @returns the plan; the settings of the daemons follow once the stand-ins serve
+ */
+export const planCluster = (options: ClusterOptions): ClusterPlan => {
+  const dataCentres = options.dataCentres ?? DEFAULT_DATA_CENTRES;
+  const engineSpecs = options.engines ?? buildRange(DEFAULT_ENGINES).map(() => ({}));
+  const engines = engineSpecs.map((spec, index) =>
+    planEngine(spec, { engines: index, endpoints: index }, dataCentres),
+  );
+  const ledgerOptions = { callMs: options.ledgerCallMs };
+  const ledgers = buildRange(options.ledgers ?? DEFAULT_LEDGERS).map((index) =>
+    planLedger(index, engines.length + index, dataCentres, ledgerOptions),
+  );
+  const models = engineSpecs.map(({ model }: EngineSpec) => model ?? DEFAULT_MODEL);
+  return {
+    platform: buildStandin('platform', 'platform', 'platform-1', options.platform ?? {}),
+    endpoints: [...engines, ...ledgers],
+    entries: buildRange(options.entryDaemons ?? DEFAULT_ENTRY_DAEMONS).map((index) => ({
+      name: `entry-${(index + 1).toString()}`,
+      dataCentre: pickInTurn(dataCentres, index),
+    })),
+    dataCentres,
+    models: [...new Set(models)],
+  };
+};
--- /dev/null
+++ b/packages/cluster/processes/control.ts
@@ -0,0 +1,150 @@
+import { createLauncher } from './launcher.js';
+import type { Launcher } from './launcher.js';
+import type {
+  ClusterEffect,
+  ClusterEvent,
+  ProcessExit,
+  ProcessSpec,
+  ProcessState,
+  ProcessTable,
+  ProcessesEvent,
+} from './types.js';
+import { createListClient } from '../instances/listClient.js';
+import type { ListClient } from '../instances/listClient.js';
+import { checkReadiness } from '../instances/readiness.js';
+import { listClusterChildren } from '../supervisor.js';
+import { createWatch } from '../watch.js';
+import { assertNever } from '../../core/assertNever.js';
+import { createSystemClock } from '../../core/clock.js';
+import type { Millis } from '../../core/clock.js';
+import type { Loop } from '../../core/loop/types.js';
+import { createStandinDaemon } from '../../standins/common/daemon.js';
+
+/** Orders to the processes of a cluster, as promises over the loop. */
+export interface ProcessControl {
+  readonly getTable: () => ProcessTable;
+  readonly post: (event: ProcessesEvent) => void;
+  /** Starts processes together; resolves when all are ready, rejects when one is not. */
+  readonly start: (specs: readonly ProcessSpec[]) => Promise<readonly ProcessState[]>;
+  readonly waitForExit: (name: string) => Promise<ProcessExit>;
+  /** Sends SIGTERM, and SIGKILL to what is left after a time. */
+  readonly end: (names: readonly string[], withinMs: Millis) => Promise<void>;
+  /** Ends the loop, once the instance list has taken all changes. */
+  readonly close: () => Promise<void>;
+}
+
+export interface ProcessControlOptions {
+  readonly directory: string;
+  readonly errorOutput: 'files' | 'inherit';
+  readonly platformName: string;
+}
+
+interface Adapters {
+  readonly launcher: Launcher;
+  readonly instances: ListClient;
+  readonly post: (event: ProcessesEvent) => void;
+}
+
+const performEffect = (
+  effect: ClusterEffect,
+  { launcher, instances, post }: Adapters,
+  loop: Loop<ClusterEvent>,
+): void => {
+  switch (effect.kind) {
+    case 'spawn':
+      launcher.spawn(effect);
+      return;
+    case 'send-signal':
+      launcher.sendSignal(effect.name, effect.signal);
+      return;
+    case 'check-ready': {
+      const { name, run, url } = effect;
+      void checkReadiness(url).then((problem) => {
+        post({ kind: 'checked', name, run, problem });
+      });
+      return;
+    }
+    case 'list-instance':
+      instances.list(effect);
+      return;
+    case 'unlist-instance':
+      instances.unlist(effect);
+      return;
+    case 'schedule':
+      loop.schedule(effect.delayMs, effect.event);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
+
+const isStarted = ({ phase }: ProcessState): boolean => phase === 'ready' || phase === 'exited';
+
+const describeFailedStart = (state: ProcessState, errorOutput: string): string => {
+  const { spec, exit, problem } = state;
+  const end = exit?.signal ?? `code ${String(exit?.code)}`;
+  const lines = [`${spec.name} did not start: it ended with ${end}`, problem ?? '', errorOutput];
+  return lines.filter((line) => line !== '').join('\n');
+};
+
+/**
+ * Creates the loop that owns the processes of a cluster, with its adapters.
+ *
+ * @param options - directory, error output and the name of the platform stand-in
+ * @returns the running loop
+ */
+export const createProcessControl = (options: ProcessControlOptions): ProcessControl => {
+  const watch = createWatch<ProcessTable>();
+  const post = (event: ProcessesEvent): void => {
+    daemon.post({ to: 'processes', ...event });
+  };
+  const launcher = createLauncher({ ...options, post });
+  const getPlatformUrl = (): string =>
+    watch.get().get(options.platformName)?.urls['platform'] ?? '';
+  const instances = createListClient({ getPlatformUrl, post });
+  const adapters = { launcher, instances, post };
+  const daemon = createStandinDaemon<ClusterEvent, ClusterEffect>({
+    name: 'cluster',
+    clock: createSystemClock(),
+    children: listClusterChildren(watch.publish),
+    perform: (effect, loop) => {
+      performEffect(effect, adapters, loop);
+    },
+  });
+  daemon.start();
+
+  const startOne = async (spec: ProcessSpec): Promise<ProcessState> => {
+    const before = watch.get().get(spec.name)?.run ?? 0;
+    post({ kind: 'start', spec });
+    const state = await watch.wait((table) => {
+      const found = table.get(spec.name);
+      return found !== undefined && found.run > before && isStarted(found) ? found : undefined;
+    });
+    if (state.phase === 'ready') return state;
+    throw new Error(describeFailedStart(state, launcher.readErrorOutput(spec.name)));
+  };
+
+  const waitForExit = (name: string): Promise<ProcessExit> =>
+    watch.wait((table) => table.get(name)?.exit ?? undefined);
+
+  const end = async (names: readonly string[], withinMs: Millis): Promise<void> => {
+    for (const name of names) post({ kind: 'signal', name, signal: 'SIGTERM' });
+    const timer = setTimeout(() => {
+      for (const name of names) post({ kind: 'signal', name, signal: 'SIGKILL' });
+    }, withinMs);
+    await Promise.all(names.map(waitForExit));
+    clearTimeout(timer);
+  };
+
+  return {
+    getTable: watch.get,
+    post,
+    start: (specs) => Promise.all(specs.map(startOne)),
+    waitForExit,
+    end,
+    close: async () => {
+      await instances.waitUntilIdle();
+      daemon.stop();
+    },
+  };
+};
--- /dev/null
+++ b/packages/cluster/processes/launcher.ts
@@ -0,0 +1,95 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { closeSync, openSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+import { z } from 'zod';
+import type { ClusterEffect, ProcessSignal, ProcessesEvent } from './types.js';
+import { ERROR_OUTPUT_LINES } from '../constants.js';
+
+/** Starts and signals the processes of one cluster, and no others. */
+export interface Launcher {
+  readonly spawn: (effect: Extract<ClusterEffect, { kind: 'spawn' }>) => void;
+  readonly sendSignal: (name: string, signal: ProcessSignal) => void;
+  /** Reads the end of a process's error output; empty when it is inherited. */
+  readonly readErrorOutput: (name: string) => string;
+}
+
+export interface LauncherOptions {
+  readonly directory: string;
+  readonly errorOutput: 'files' | 'inherit';
+  readonly post: (event: ProcessesEvent) => void;
+}
+
+const PROGRAM = fileURLToPath(new URL('../../../../app/bin/chestnutspan.js', import.meta.url));
+
+const SERVING_SCHEMA = z.object({ urls: z.record(z.string(), z.string()) });
+
+const parseUrls = (line: string): Readonly<Record<string, string>> | undefined => {
+  try {
+    return SERVING_SCHEMA.safeParse(JSON.parse(line)).data?.urls;
+  } catch {
+    // A line that is no JSON is not the line with the addresses.
+    return undefined;
+  }
+};
+
+/**
+ * Creates the adapter that owns the child processes.
+ *
+ * @param options - directory of the error output, and where events go
+ * @returns the launcher
+ */
+export const createLauncher = (options: LauncherOptions): Launcher => {
+  const { directory, errorOutput, post } = options;
+  const children = new Map<string, ChildProcess>();
+
+  const toErrorFile = (name: string): string => join(directory, `${name}.stderr`);
+
+  const startChild = (name: string, argv: readonly string[]): ChildProcess => {
+    const file = errorOutput === 'files' ? openSync(toErrorFile(name), 'a') : undefined;
+    const child = spawn(process.execPath, [PROGRAM, ...argv], {
+      env: { ...process.env, NODE_ENV: 'production' },
+      // A signal of the terminal must not reach the processes before the cluster stops them in order.
+      detached: true,
+      // The pipe to the standard input closes when this process dies, and the child then stops.
+      stdio: ['pipe', 'pipe', file ?? 'inherit'],
+    });
+    if (file !== undefined) closeSync(file);
+    return child;
+  };
+
+  return {
+    spawn: ({ name, run, argv }) => {
+      const child = startChild(name, argv);
+      children.set(name, child);
+      child.once('spawn', () => {
+        post({ kind: 'spawned', name, run, pid: child.pid ?? 0 });
+      });
+      child.once('error', () => {
+        if (child.pid === undefined) {
+          post({ kind: 'exited', name, run, exit: { code: null, signal: null } });
+        }
+      });
+      child.once('exit', (code, signal) => {
+        children.delete(name);
+        post({ kind: 'exited', name, run, exit: { code, signal } });
+      });
+      if (child.stdout !== null) {
+        createInterface({ input: child.stdout }).on('line', (line) => {
+          const urls = parseUrls(line);
+          if (urls !== undefined) post({ kind: 'addresses-printed', name, run, urls });
+        });
+      }
+    },
+    sendSignal: (name, signal) => {
+      children.get(name)?.kill(signal);
+    },
+    readErrorOutput: (name) => {
+      if (errorOutput === 'inherit') return '';
+      const lines = readFileSync(toErrorFile(name), 'utf8').trimEnd().split('\n');
+      return lines.slice(-ERROR_OUTPUT_LINES).join('\n');
+    },
+  };
+};
--- /dev/null
+++ b/packages/cluster/processes/processesChild.ts
@@ -0,0 +1,240 @@
+import { buildRestartArgv, findHttpUrl } from './addresses.js';
+import type {
+  ClusterEffect,
+  ListedState,
+  ProcessSpec,
+  ProcessState,
+  ProcessTable,
+  ProcessesEvent,
+  ProcessesStep,
+} from './types.js';
+import { READY_POLL_MS, START_TIMEOUT_MS } from '../constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+
+type RunEvent = Extract<ProcessesEvent, { readonly run: number }>;
+
+const update = (
+  table: ProcessTable,
+  process: ProcessState,
+  changes: Partial<ProcessState>,
+  ...effects: readonly ClusterEffect[]
+): ProcessesStep => {
+  const next = new Map(table).set(process.spec.name, { ...process, ...changes });
+  return toStep<ProcessTable, ClusterEffect>(next, ...effects);
+};
+
+const startProcess = (table: ProcessTable, spec: ProcessSpec): ProcessesStep => {
+  const { name } = spec;
+  const known = table.get(name);
+  if (known !== undefined && known.phase !== 'exited') throw new Error(`${name} still runs`);
+  const run = (known?.run ?? 0) + 1;
+  const process: ProcessState = {
+    spec,
+    run,
+    phase: 'starting',
+    pid: null,
+    urls: {},
+    exit: null,
+    problem: null,
+  };
+  const argv = known === undefined ? spec.argv : buildRestartArgv(spec, known.urls);
+  return update(
+    table,
+    process,
+    {},
+    { kind: 'spawn', name, run, argv },
+    {
+      kind: 'schedule',
+      delayMs: START_TIMEOUT_MS,
+      event: { to: 'processes', kind: 'start-overdue', name, run },
+    },
+  );
+};
+
+const listInstance = (process: ProcessState, state: ListedState): readonly ClusterEffect[] => {
+  const { spec, run, urls } = process;
+  if (spec.kind === 'standin') return [];
+  const { name, role, listing } = spec;
+  const httpUrl = findHttpUrl(role, urls);
+  const rpcUrl = urls['rpc'] ?? '';
+  return [{ kind: 'list-instance', name, run, role, listing, state, rpcUrl, httpUrl }];
+};
+
+const checkReady = ({ spec, run, urls }: ProcessState): readonly ClusterEffect[] =>
+  spec.kind === 'standin'
+    ? []
+    : [{ kind: 'check-ready', name: spec.name, run, url: findHttpUrl(spec.role, urls) }];
+
+const handleAddresses = (
+  table: ProcessTable,
+  process: ProcessState,
+  urls: ProcessState['urls'],
+): ProcessesStep => {
+  if (process.phase !== 'starting') return toStep(table);
+  const listening: ProcessState = { ...process, urls, phase: 'listening' };
+  switch (process.spec.kind) {
+    case 'standin':
+      return update(table, listening, { phase: 'ready' });
+    case 'daemon': {
+      const effects = [...listInstance(listening, 'live'), ...checkReady(listening)];
+      return update(table, listening, {}, ...effects);
+    }
+    default:
+      return assertNever(process.spec);
+  }
+};
+
+const handleChecked = (
+  table: ProcessTable,
+  process: ProcessState,
+  problem: string | null,
+): ProcessesStep => {
+  if (process.phase !== 'listening') return toStep(table);
+  if (problem === null) return update(table, process, { phase: 'ready', problem });
+  const { name } = process.spec;
+  const event = { to: 'processes', kind: 'check-due', name, run: process.run } as const;
+  return update(table, process, { problem }, { kind: 'schedule', delayMs: READY_POLL_MS, event });
+};
+
+const sendSignal = (
+  table: ProcessTable,
+  process: ProcessState,
+  signal: Extract<ProcessesEvent, { kind: 'signal' }>['signal'],
+): ProcessesStep => {
+  const { phase, run, spec } = process;
+  if (phase === 'exited') return toStep(table);
+  const { name } = spec;
+  const send: ClusterEffect = { kind: 'send-signal', name, run, signal };
+  switch (signal) {
+    case 'SIGSTOP':
+      return update(table, process, { phase: phase === 'ready' ? 'frozen' : phase }, send);
+    case 'SIGCONT':
+      return update(table, process, { phase: phase === 'frozen' ? 'ready' : phase }, send);
+    case 'SIGKILL':
+      return update(table, process, { phase: 'stopping' }, send);
+    case 'SIGTERM':
+    case 'SIGINT':
+      // A stopped process handles no signal before it continues.
+      return update(
+        table,
+        process,
+        { phase: 'stopping' },
+        ...(phase === 'frozen' ? [{ ...send, signal: 'SIGCONT' } as const] : []),
+        send,
+      );
+    default:
+      return assertNever(signal);
+  }
+};
+
+/** A daemon that is not in the list would never be found, so its start fails. */
+const handleListFailed = (
+  table: ProcessTable,
+  process: ProcessState,
+  problem: string,
+): ProcessesStep =>
+  process.phase === 'listening'
+    ? sendSignal(table, { ...process, problem }, 'SIGKILL')
+    : update(table, process, { problem });
+
+const handleExited = (
+  table: ProcessTable,
+  process: ProcessState,
+  exit: ProcessState['exit'],
+): ProcessesStep => {
+  const { spec, run } = process;
+  const unlist: readonly ClusterEffect[] =
+    spec.kind === 'standin'
+      ? []
+      : [{ kind: 'unlist-instance', name: spec.name, run, id: spec.listing.id }];
+  return update(table, process, { phase: 'exited', exit }, ...unlist);
+};
+
+const handleRunEvent = (
+  table: ProcessTable,
+  process: ProcessState,
+  event: RunEvent,
+): ProcessesStep => {
+  switch (event.kind) {
+    case 'spawned':
+      return update(table, process, { pid: event.pid });
+    case 'addresses-printed':
+      return handleAddresses(table, process, event.urls);
+    case 'check-due':
+      return process.phase === 'listening'
+        ? toStep<ProcessTable, ClusterEffect>(table, ...checkReady(process))
+        : toStep(table);
+    case 'checked':
+      return handleChecked(table, process, event.problem);
+    case 'start-overdue': {
+      const overdue = process.phase === 'starting' || process.phase === 'listening';
+      if (!overdue) return toStep(table);
+      const problem = `not ready in time: ${process.problem ?? 'it printed no addresses'}`;
+      return sendSignal(table, { ...process, problem }, 'SIGKILL');
+    }
+    case 'listed':
+      return event.state === 'leaving' ? sendSignal(table, process, 'SIGTERM') : toStep(table);
+    case 'list-failed':
+      return handleListFailed(table, process, event.problem);
+    case 'exited':
+      return handleExited(table, process, event.exit);
+    default:
+      return assertNever(event);
+  }
+};
+
+const findNamed = (table: ProcessTable, name: string): ProcessState => {
+  const process = table.get(name);
+  if (process === undefined) throw new Error(`no process is called ${name}`);
+  return process;
+};
+
+/**
+ * Decides one event of the processes of a cluster.
+ *
+ * @param table - processes before the event
+ * @param event - order of the user, or what was seen of a process
+ * @returns the processes after it, and what is to be done
+ */
+export const decideProcesses = (table: ProcessTable, event: ProcessesEvent): ProcessesStep => {
+  switch (event.kind) {
+    case 'start':
+      return startProcess(table, event.spec);
+    case 'signal':
+      return sendSignal(table, findNamed(table, event.name), event.signal);
+    case 'leave':
+      return toStep<ProcessTable, ClusterEffect>(
+        table,
+        ...listInstance(findNamed(table, event.name), 'leaving'),
+      );
+    case 'spawned':
+    case 'addresses-printed':
+    case 'check-due':
+    case 'checked':
+    case 'start-overdue':
+    case 'listed':
+    case 'list-failed':
+    case 'exited': {
+      const process = findNamed(table, event.name);
+      return process.run === event.run ? handleRunEvent(table, process, event) : toStep(table);
+    }
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the child that owns the states of all processes.
+ *
+ * @returns the decisions of the child
+ */
+export const createProcessesChild = (): ChildLogic<
+  ProcessTable,
+  ProcessesEvent,
+  ClusterEffect
+> => ({
+  init: () => toStep(new Map()),
+  decide: decideProcesses,
+});
--- /dev/null
+++ b/packages/cluster/settingsFiles.ts
@@ -0,0 +1,161 @@
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { z } from 'zod';
+import { CLUSTER_DRAIN_MS, LEDGER_SERVICE } from './constants.js';
+import { hashKey } from './keys.js';
+import type { EndpointTarget, PlannedEndpoint, PlannedEntry } from './plan.js';
+import type { Listing, ProcessSpec, Urls } from './processes/types.js';
+import type { ClusterOptions, CustomerSpec, EntryFile } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { ModelName } from '../core/ids.js';
+import type { ENDPOINT_SCHEMA } from '../settings/endpointSchema.js';
+
+type EndpointFile = z.input<typeof ENDPOINT_SCHEMA>;
+
+/** Bearer keys and the secret of a cluster; settings files hold only the hashes of keys. */
+export interface ClusterKeys {
+  readonly customers: readonly (CustomerSpec & { readonly key: string })[];
+  readonly operatorKey: string;
+  readonly ticketKey: string;
+}
+
+/** What the settings files of all daemons of a cluster share. */
+export interface SettingsContext {
+  readonly directory: string;
+  readonly platformUrl: string;
+  readonly keys: ClusterKeys;
+  readonly models: readonly ModelName[];
+  readonly options: ClusterOptions;
+}
+
+const FREE_PORT = { host: '127.0.0.1', port: 0 } as const;
+
+const LEDGER_ROUTES: NonNullable<EntryFile['services']>[number]['routes'] = [
+  { method: 'GET', path: '/balances/{account}', repeat: 'allowed' },
+  { method: 'POST', path: '/sweeps', repeat: 'never' },
+  { method: 'POST', path: '/pickups', repeat: 'never' },
+  { method: 'POST', path: '/credits', repeat: 'never' },
+];
+
+const toInstance = (name: string): string => `instance-${name}`;
+
+const buildEntryFile = (entry: PlannedEntry, context: SettingsContext): EntryFile => {
+  const { platformUrl, keys, models, options } = context;
+  return {
+    process: entry.name,
+    instance: toInstance(entry.name),
+    dataCentre: entry.dataCentre,
+    callers: FREE_PORT,
+    rpc: FREE_PORT,
+    platform: { logUrl: platformUrl, listUrl: platformUrl, weightsUrl: platformUrl },
+    ticketKey: keys.ticketKey,
+    customers: keys.customers.map(({ key, ...customer }) => ({
+      ...customer,
+      keyHash: hashKey(key),
+    })),
+    operators: [{ name: 'operator-1', keyHash: hashKey(keys.operatorKey) }],
+    services: [{ name: LEDGER_SERVICE, routes: LEDGER_ROUTES }],
+    models: [...models],
+    ...(options.policy === undefined ? {} : { policy: options.policy }),
+    ...(options.limits === undefined ? {} : { limits: options.limits }),
+    drainMs: options.drainMs ?? CLUSTER_DRAIN_MS,
+    log: { format: options.logFormat ?? 'json' },
+  };
+};
+
+const buildTarget = (target: EndpointTarget, urls: Urls): EndpointFile['target'] => {
+  switch (target.kind) {
+    case 'model':
+      return { ...target, engineUrl: urls['engine'] ?? '' };
+    case 'service':
+      return { ...target, serviceUrl: urls['service'] ?? '' };
+    default:
+      return assertNever(target);
+  }
+};
+
+const buildEndpointFile = (
+  planned: PlannedEndpoint,
+  standinUrls: Urls,
+  context: SettingsContext,
+): EndpointFile => ({
+  process: planned.endpoint,
+  instance: toInstance(planned.endpoint),
+  endpoint: planned.endpoint,
+  dataCentre: planned.dataCentre,
+  http: FREE_PORT,
+  rpc: FREE_PORT,
+  platform: { listUrl: context.platformUrl },
+  target: buildTarget(planned.target, standinUrls),
+  drainMs: context.options.drainMs ?? CLUSTER_DRAIN_MS,
+  log: { format: context.options.logFormat ?? 'json' },
+});
+
+const toListedTarget = (target: EndpointTarget): Partial<Listing> => {
+  const { version } = target;
+  switch (target.kind) {
+    case 'model':
+      return { model: target.model, version };
+    case 'service':
+      return { service: target.service, version };
+    default:
+      return assertNever(target);
+  }
+};
+
+const writeSettings = (directory: string, name: string, content: object): string => {
+  const file = join(directory, `${name}.json`);
+  writeFileSync(file, `${JSON.stringify(content, undefined, 2)}\n`);
+  return file;
+};
+
+const toRunArguments = (role: 'entry' | 'endpoint', file: string): readonly string[] => [
+  'run',
+  role,
+  file,
+  '--json',
+  '--stop-with-input',
+];
+
+/**
+ * Writes the settings file of an entry daemon.
+ *
+ * @param entry - name and place
+ * @param context - what all daemons share
+ * @returns the process that runs with the file
+ */
+export const writeEntry = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
+  const file = writeSettings(context.directory, entry.name, buildEntryFile(entry, context));
+  return {
+    kind: 'daemon',
+    role: 'entry',
+    name: entry.name,
+    argv: toRunArguments('entry', file),
+    listing: { id: toInstance(entry.name), dataCentre: entry.dataCentre },
+  };
+};
+
+/**
+ * Writes the settings file of an endpoint daemon.
+ *
+ * @param planned - name, place and what the daemon stands before
+ * @param standinUrls - addresses that its stand-in printed
+ * @param context - what all daemons share
+ * @returns the process that runs with the file
+ */
+export const writeEndpoint = (
+  planned: PlannedEndpoint,
+  standinUrls: Urls,
+  context: SettingsContext,
+): ProcessSpec => {
+  const { endpoint: name, dataCentre, target } = planned;
+  const content = buildEndpointFile(planned, standinUrls, context);
+  const file = writeSettings(context.directory, name, content);
+  return {
+    kind: 'daemon',
+    role: 'endpoint',
+    name,
+    argv: toRunArguments('endpoint', file),
+    listing: { id: toInstance(name), dataCentre, ...toListedTarget(target) },
+  };
+};
--- /dev/null
+++ b/packages/cluster/watch.ts
@@ -0,0 +1,39 @@
+/** Newest state of the loop, and promises for states to come. */
+export interface Watch<State> {
+  readonly publish: (state: State) => void;
+  /** Newest state; throws before the first. */
+  readonly get: () => State;
+  /** Resolves with the first value that `find` takes from the newest or a later state. */
+  readonly wait: <Value>(find: (state: State) => Value | undefined) => Promise<Value>;
+}
+
+/**
+ * Creates a watch. Waiting needs no timer: each published state is tried once.
+ *
+ * @returns a watch without a state
+ */
+export const createWatch = <State>(): Watch<State> => {
+  let newest: { readonly state: State } | undefined;
+  const waiting = new Set<(state: State) => void>();
+  return {
+    publish: (state) => {
+      newest = { state };
+      for (const check of [...waiting]) check(state);
+    },
+    get: () => {
+      if (newest === undefined) throw new Error('the loop has not started');
+      return newest.state;
+    },
+    wait: <Value>(find: (state: State) => Value | undefined) =>
+      new Promise<Value>((resolve) => {
+        const check = (state: State): void => {
+          const value = find(state);
+          if (value === undefined) return;
+          waiting.delete(check);
+          resolve(value);
+        };
+        waiting.add(check);
+        if (newest !== undefined) check(newest.state);
+      }),
+  };
+};
