--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -121,6 +121,11 @@
     level: 'warn',
     text: 'No heartbeat was acknowledged within the lease; new work is refused.',
   },
+  'lease-settling': {
+    number: 4009,
+    level: 'info',
+    text: 'Heartbeats are acknowledged again; the lease waits for more entry daemons.',
+  },
   'lease-renewed': {
     number: 4005,
     level: 'info',
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -18,6 +18,7 @@
   AdmissionEffect,
   AdmissionEvent,
   AdmissionRequest,
+  EngineMemory,
 } from '../../decisions/admission/types.js';
 import type { ClassTargets } from '../../decisions/placement/types.js';
 import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
@@ -56,20 +57,14 @@
   survival: inputs.survival,
 });
 
-const fetchLoad = (inputs: EngineInputs): EndpointEffect =>
-  inputs.target === 'model' ? { kind: 'fetch-load' } : { kind: 'fetch-health' };
-
-const toEndpointEffects = (
-  effect: AdmissionEffect,
-  inputs: EngineInputs,
-): readonly EndpointEffect[] => {
+const toEndpointEffects = (effect: AdmissionEffect): readonly EndpointEffect[] => {
   switch (effect.kind) {
     case 'limit-changed': {
       const { limit, phase, cause } = effect;
       return [{ kind: 'log', name: 'limit-changed', details: { data: { limit, phase, cause } } }];
     }
     case 'read-load':
-      return [fetchLoad(inputs)];
+      return [{ kind: 'fetch-health' }];
     case 'sequences-lost':
       return [
         {
@@ -89,69 +84,69 @@
   inputs: EngineInputs,
 ): EngineStep => {
   const step = decideLimit(state.admission, event, toContext(inputs));
-  const effects = step.effects.flatMap((effect) => toEndpointEffects(effect, inputs));
+  const effects = step.effects.flatMap(toEndpointEffects);
   return toStep({ ...state, admission: step.state }, ...effects);
 };
 
-const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep => {
+const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
+  toStep({ ...state, load, loadAt: inputs.now() - load.ageMs });
+
+/** The load page lags, so figures of an earlier start of the engine say nothing about this one. */
+const getMemory = (state: EngineState, startId: string): EngineMemory => {
+  const { load } = state;
+  const isCurrent = load?.startId === startId;
+  return {
+    usedTokens: isCurrent ? load.memoryUsedTokens : 0,
+    totalTokens: load?.memoryTotalTokens ?? 0,
+    tokensPerSecond: isCurrent ? load.tokensPerSecond : 0,
+    preemptions: isCurrent ? load.preemptions : 0,
+  };
+};
+
+const isReady = (state: EngineState, health: EngineHealth, inputs: EngineInputs): boolean =>
+  health.status === 'ready' && (inputs.target === 'service' || state.load !== null);
+
+const applyHealth = (
+  state: EngineState,
+  event: Extract<EngineEvent, { readonly kind: 'health-received' }>,
+  inputs: EngineInputs,
+): EngineStep => {
+  const { health, requestedAt } = event;
   const now = inputs.now();
-  const next: EngineState = { ...state, reach: 'reached', load, loadAt: now - load.ageMs };
+  const next = { ...state, reach: 'reached', health } as const;
+  if (!isReady(next, health, inputs)) {
+    return dropProbes(applyAdmission(next, { kind: 'engine-unreachable', now }, inputs));
+  }
   return applyAdmission(
     next,
     {
       kind: 'load-read',
-      identity: load.startId,
-      memory: {
-        usedTokens: load.memoryUsedTokens,
-        totalTokens: load.memoryTotalTokens,
-        tokensPerSecond: load.tokensPerSecond,
-        preemptions: load.preemptions,
-      },
+      identity: health.startId,
+      memory: getMemory(next, health.startId),
       generated: state.generated,
+      requestedAt,
       now,
     },
     inputs,
   );
 };
 
-/** A plain service has no load page; what runs there is what this daemon started. */
-const toServiceLoad = (state: EngineState, health: EngineHealth): EngineLoad => ({
-  startId: health.startId,
-  running: state.admission.running.size,
-  waiting: 0,
-  memoryUsedTokens: 0,
-  memoryTotalTokens: 0,
-  tokensPerSecond: 0,
-  preemptions: 0,
-  ageMs: 0,
+/** The next poll asks again; an immediate question would turn an outage into a busy loop. */
+const dropProbes = (step: EngineStep): EngineStep => ({
+  state: step.state,
+  effects: step.effects.filter(({ kind }) => kind !== 'fetch-health'),
 });
 
-const applyHealth = (
-  state: EngineState,
-  health: EngineHealth,
-  inputs: EngineInputs,
-): EngineStep => {
-  const next = { ...state, reach: 'reached', health } as const;
-  if (health.status !== 'ready') {
-    return applyAdmission(next, { kind: 'engine-unreachable', now: inputs.now() }, inputs);
-  }
-  return inputs.target === 'service'
-    ? applyLoad(next, toServiceLoad(next, health), inputs)
-    : toStep(next);
-};
-
 const applyUnreachable = (state: EngineState, reason: string, inputs: EngineInputs): EngineStep => {
-  const step = applyAdmission(
-    { ...state, reach: 'unreachable', health: null },
-    { kind: 'engine-unreachable', now: inputs.now() },
-    inputs,
-  );
-  // The next poll asks again; an immediate question would turn an outage into a busy loop.
-  const effects = step.effects.filter(
-    ({ kind }) => kind !== 'fetch-load' && kind !== 'fetch-health',
+  const step = dropProbes(
+    applyAdmission(
+      { ...state, reach: 'unreachable', health: null },
+      { kind: 'engine-unreachable', now: inputs.now() },
+      inputs,
+    ),
   );
-  if (state.reach === 'unreachable') return toStep(step.state, ...effects);
-  return toStep(step.state, ...effects, {
+  if (state.reach === 'unreachable') return step;
+  return toStep(step.state, ...step.effects, {
     kind: 'log',
     name: 'engine-unreachable',
     details: { data: { reason } },
@@ -302,7 +297,7 @@
 /** The data centre came back: the endpoint counts as cold, since its cache may be. */
 const restartRamp = (state: EngineState, inputs: EngineInputs): EngineStep => {
   const admission = { ...createAdmissionState(inputs.now()), running: state.admission.running };
-  return toStep({ ...state, admission }, fetchLoad(inputs));
+  return toStep({ ...state, admission }, { kind: 'fetch-health' });
 };
 
 const decideEngine = (state: EngineState, event: EngineEvent, inputs: EngineInputs): EngineStep => {
@@ -310,7 +305,7 @@
     case 'poll':
       return pollEngine(state, inputs);
     case 'health-received':
-      return applyHealth(state, event.health, inputs);
+      return applyHealth(state, event, inputs);
     case 'health-failed':
       return applyUnreachable(state, event.reason, inputs);
     case 'load-received':
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -3,6 +3,7 @@
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
 import { ENGINE_CONNECTIONS, ENGINE_PROBE_TIMEOUT_MS } from './constants.js';
+import type { Clock } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { GenerationId } from '../../core/ids.js';
@@ -104,11 +105,13 @@
  * Creates the adapter to the endpoint's HTTP interface. Each completion becomes an event.
  *
  * @param baseUrl - address of the engine or service
+ * @param clock - time of the probes
  * @param post - receives the completions
  * @returns the adapter
  */
 export const createEngineClient = (
   baseUrl: string,
+  clock: Clock,
   post: (event: EndpointEvent) => void,
 ): EngineClient => {
   const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 1, bodyTimeout: 0 });
@@ -125,12 +128,13 @@
   };
 
   const fetchHealth = (): void => {
+    const requestedAt = clock.now();
     fetchJson('/health').then(
       (body) => {
         const parsed = healthSchema.safeParse(body);
         post(
           parsed.success
-            ? { to: 'engine', kind: 'health-received', health: parsed.data }
+            ? { to: 'engine', kind: 'health-received', health: parsed.data, requestedAt }
             : { to: 'engine', kind: 'health-failed', reason: z.prettifyError(parsed.error) },
         );
       },
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -3,7 +3,6 @@
 import type { Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
-import type { Clock } from '../../core/clock.js';
 import { createPeerSession } from '../../wire/rpcListener.js';
 import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
 import {
@@ -30,7 +29,7 @@
 }
 
 export interface EntryClient {
-  readonly sendHeartbeat: (url: string, content: HeartbeatContent) => void;
+  readonly sendHeartbeat: (to: string, url: string, content: HeartbeatContent) => void;
   readonly close: () => void;
 }
 
@@ -77,14 +76,12 @@
  * Creates the adapter that sends heartbeats to entry daemons.
  *
  * @param getIdentity - identity of this process, known once it listens
- * @param clock - time of sending, from which a lease counts
  * @param timeoutMs - time after which a heartbeat counts as lost
  * @param post - receives the answers
  * @returns the adapter
  */
 export const createEntryClient = (
   getIdentity: () => HeartbeatIdentity,
-  clock: Clock,
   timeoutMs: number,
   post: (event: EndpointEvent) => void,
 ): EntryClient => {
@@ -105,16 +102,15 @@
     return connection;
   };
 
-  const send = async (url: string, content: HeartbeatContent): Promise<void> => {
-    const sentAt = clock.now();
+  const send = async (to: string, url: string, content: HeartbeatContent): Promise<void> => {
     try {
       const message = toMessage(getIdentity(), content);
       const response = await connect(url).client.heartbeat(message, { timeoutMs });
       post({
         to: 'heartbeats',
         kind: 'acknowledged',
-        url,
-        sentAt,
+        from: to,
+        sequence: content.sequence,
         answer: decodeAnswer(response),
       });
     } catch (error) {
@@ -124,7 +120,7 @@
   };
 
   return {
-    sendHeartbeat: (url, content) => void send(url, content),
+    sendHeartbeat: (to, url, content) => void send(to, url, content),
     close: () => {
       for (const { manager } of connections.values()) manager.abort();
       connections.clear();
--- /dev/null
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -0,0 +1,161 @@
+import type { HeartbeatsState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { EventName } from '../../core/events/catalogue.js';
+import type { Incarnation } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { chooseHeartbeatTargets } from '../../decisions/membership/heartbeatTargets.js';
+import type { TextHash } from '../../decisions/membership/heartbeatTargets.js';
+import { decideLease, initLease } from '../../decisions/membership/lease.js';
+import type {
+  LeaseEffect,
+  LeaseEvent,
+  LeaseStatus,
+} from '../../decisions/membership/leaseTypes.js';
+import type { EndpointEffect, HeartbeatContent, HeartbeatsEvent, ListedEntry } from '../types.js';
+
+export interface HeartbeatsInputs {
+  readonly now: () => Millis;
+  readonly endpoint: string;
+  readonly incarnation: Incarnation;
+  readonly startedAt: Millis;
+  readonly intervalMs: Millis;
+  readonly subsetSize: number;
+  readonly hash: TextHash;
+  readonly getEntries: () => readonly ListedEntry[];
+  /** What the next heartbeat says, without its sequence number. */
+  readonly describeLoad: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
+  readonly getConfigurationOffset: () => number;
+}
+
+type HeartbeatsStep = Step<HeartbeatsState, EndpointEffect>;
+
+const toEventName = (lease: LeaseStatus): EventName => {
+  switch (lease) {
+    case 'held':
+      return 'lease-renewed';
+    case 'settling':
+      return 'lease-settling';
+    case 'lapsed':
+      return 'lease-lapsed';
+    default:
+      return assertNever(lease);
+  }
+};
+
+const toEndpointEffects = (effect: LeaseEffect): readonly EndpointEffect[] => {
+  switch (effect.kind) {
+    case 'lease-changed':
+      return [
+        {
+          kind: 'log',
+          name: toEventName(effect.lease),
+          details: { data: { lease: effect.lease } },
+        },
+      ];
+    case 'start-drain':
+      return [
+        {
+          kind: 'post',
+          event: { to: 'rpc', kind: 'drain-started', reason: 'the endpoint is leaving' },
+        },
+      ];
+    case 'data-centre-changed':
+      return [
+        {
+          kind: 'log',
+          name: 'configuration-applied',
+          details: { data: { dataCentre: effect.dataCentre } },
+        },
+      ];
+    case 'restart-ramp':
+      return [{ kind: 'post', event: { to: 'engine', kind: 'restart-ramp' } }];
+    default:
+      return assertNever(effect);
+  }
+};
+
+const applyLease = (state: HeartbeatsState, event: LeaseEvent): HeartbeatsStep => {
+  const step = decideLease(state.lease, event);
+  return toStep({ ...state, lease: step.state }, ...step.effects.flatMap(toEndpointEffects));
+};
+
+const listTargets = (inputs: HeartbeatsInputs): readonly ListedEntry[] => {
+  const entries = new Map(inputs.getEntries().map((entry) => [entry.id, entry]));
+  const targets = chooseHeartbeatTargets(
+    inputs.endpoint,
+    [...entries.keys()],
+    inputs.subsetSize,
+    inputs.hash,
+  );
+  return targets.flatMap((target) => entries.get(target) ?? []);
+};
+
+const beat = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
+  const now = inputs.now();
+  // Counted by uptime, so that a restarted child does not fall behind its earlier heartbeats.
+  const sequence = Math.max(state.sequence + 1, Math.ceil(now - inputs.startedAt));
+  const entries = listTargets(inputs);
+  const targets = entries.map(({ id }) => id);
+  const sent = applyLease(state, { kind: 'heartbeat-sent', sequence, targets, now });
+  const content: HeartbeatContent = {
+    ...inputs.describeLoad(),
+    sequence,
+    configurationOffset: inputs.getConfigurationOffset(),
+  };
+  const sends = entries.map(({ id, rpcUrl }): EndpointEffect => ({
+    kind: 'send-heartbeat',
+    to: id,
+    url: rpcUrl,
+    content,
+  }));
+  return toStep({ ...sent.state, sequence }, ...sent.effects, ...sends);
+};
+
+const decide = (
+  state: HeartbeatsState,
+  event: HeartbeatsEvent,
+  inputs: HeartbeatsInputs,
+): HeartbeatsStep => {
+  switch (event.kind) {
+    case 'beat-due': {
+      const step = beat(state, inputs);
+      return toStep(step.state, ...step.effects, {
+        kind: 'schedule',
+        delayMs: inputs.intervalMs,
+        event,
+      });
+    }
+    case 'beat':
+      return beat(state, inputs);
+    case 'acknowledged': {
+      const { from, sequence } = event;
+      const now = inputs.now();
+      return applyLease(state, { kind: 'heartbeat-acknowledged', sequence, from, now });
+    }
+    case 'beat-failed':
+      return applyLease(state, { kind: 'tick', now: inputs.now() });
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the decisions of the `heartbeats` child: the lease of this daemon and what it tells the
+ * entry daemons.
+ *
+ * @param inputs - clock, identity and views of the other children
+ * @returns the child's logic
+ */
+export const createHeartbeatsLogic = (
+  inputs: HeartbeatsInputs,
+): ChildLogic<HeartbeatsState, HeartbeatsEvent, EndpointEffect> => ({
+  init: () =>
+    toStep<HeartbeatsState, EndpointEffect>(
+      { lease: initLease(inputs.incarnation), sequence: 0 },
+      { kind: 'post', event: { to: 'heartbeats', kind: 'beat-due' } },
+    ),
+  decide: (state, event) => decide(state, event, inputs),
+});
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -165,7 +165,13 @@
 
 export type EngineEvent =
   | { readonly to: 'engine'; readonly kind: 'poll' }
-  | { readonly to: 'engine'; readonly kind: 'health-received'; readonly health: EngineHealth }
+  | {
+      readonly to: 'engine';
+      readonly kind: 'health-received';
+      readonly health: EngineHealth;
+      /** When the question was sent; the answer says nothing about later work. */
+      readonly requestedAt: Millis;
+    }
   | { readonly to: 'engine'; readonly kind: 'health-failed'; readonly reason: string }
   | { readonly to: 'engine'; readonly kind: 'load-received'; readonly load: EngineLoad }
   | {
@@ -240,12 +246,16 @@
   | { readonly to: 'calls'; readonly kind: 'sweep' };
 
 export type HeartbeatsEvent =
+  /** The regular heartbeat. */
+  | { readonly to: 'heartbeats'; readonly kind: 'beat-due' }
+  /** An extra heartbeat, since something changed that entry daemons must know at once. */
   | { readonly to: 'heartbeats'; readonly kind: 'beat' }
   | {
       readonly to: 'heartbeats';
       readonly kind: 'acknowledged';
-      readonly url: string;
-      readonly sentAt: Millis;
+      /** Entry instance that answered. */
+      readonly from: string;
+      readonly sequence: number;
       readonly answer: HeartbeatAnswer;
     }
   | {
@@ -325,6 +335,8 @@
     }
   | {
       readonly kind: 'send-heartbeat';
+      /** Entry instance that it goes to. */
+      readonly to: string;
       readonly url: string;
       readonly content: HeartbeatContent;
     }
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -138,7 +138,13 @@
   | { readonly to: 'requests'; readonly kind: 'intents-folded' }
   | { readonly to: 'requests'; readonly kind: 'retry-due'; readonly requestId: RequestId }
   /** Room may have opened at an endpoint. */
-  | { readonly to: 'requests'; readonly kind: 'capacity-changed'; readonly endpoint: EndpointId }
+  | {
+      readonly to: 'requests';
+      readonly kind: 'capacity-changed';
+      readonly endpoint: EndpointId;
+      /** Instant by the own clock that the endpoint's last load report describes. */
+      readonly reportedAt: Millis;
+    }
   | {
       readonly to: 'requests';
       readonly kind: 'endpoint-lost';
--- a/packages/entry/membership/heartbeatServer.ts
+++ b/packages/entry/membership/heartbeatServer.ts
@@ -15,11 +15,17 @@
 import type { HeartbeatReply, ReceivedHeartbeat } from '../types.js';
 
 export interface HeartbeatServer {
-  readonly replyHeartbeat: (heartbeatId: string, reply: HeartbeatReply) => void;
+  /** Answers a heartbeat; null refuses one that was out of order. */
+  readonly replyHeartbeat: (heartbeatId: string, reply: HeartbeatReply | null) => void;
   readonly listen: (host: string, port: number) => Promise<string>;
   readonly close: () => Promise<void>;
 }
 
+interface Waiting {
+  readonly resolve: (response: HeartbeatResponse) => void;
+  readonly reject: (error: ConnectError) => void;
+}
+
 const decodeHeartbeat = (message: HeartbeatRequest): ReceivedHeartbeat => ({
   endpoint: message.endpoint,
   instance: message.instance,
@@ -71,7 +77,7 @@
 export const createHeartbeatServer = (
   post: (heartbeatId: string, heartbeat: ReceivedHeartbeat) => 'queued' | 'shed',
 ): HeartbeatServer => {
-  const waiting = new Map<string, (response: HeartbeatResponse) => void>();
+  const waiting = new Map<string, Waiting>();
 
   const handleHeartbeat = (message: HeartbeatRequest): Promise<HeartbeatResponse> => {
     if (message.format !== MESSAGE_FORMAT) {
@@ -80,7 +86,7 @@
     }
     const heartbeatId = createId();
     return new Promise((resolve, reject) => {
-      waiting.set(heartbeatId, resolve);
+      waiting.set(heartbeatId, { resolve, reject });
       if (post(heartbeatId, decodeHeartbeat(message)) === 'queued') return;
       waiting.delete(heartbeatId);
       reject(new ConnectError('the event queue is full', Code.ResourceExhausted));
@@ -95,9 +101,10 @@
 
   return {
     replyHeartbeat: (heartbeatId, reply) => {
-      const resolve = waiting.get(heartbeatId);
+      const caller = waiting.get(heartbeatId);
       waiting.delete(heartbeatId);
-      resolve?.(encodeReply(reply));
+      if (reply !== null) caller?.resolve(encodeReply(reply));
+      else caller?.reject(new ConnectError('a newer heartbeat is known', Code.Aborted));
     },
     listen: listener.listen,
     close: listener.close,
--- /dev/null
+++ b/packages/entry/membership/membership.ts
@@ -0,0 +1,266 @@
+import { PAUSE_MS, TICK_MS } from './constants.js';
+import type { MembershipState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { EndpointId, Offset } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { LEASE_MS } from '../../decisions/membership/constants.js';
+import {
+  checkEligibility,
+  decideMembership,
+  initMembership,
+} from '../../decisions/membership/membership.js';
+import type {
+  Eligibility,
+  MembershipEffect,
+  MembershipEvent as TableEvent,
+  ReportedPhase,
+} from '../../decisions/membership/types.js';
+import type { EndpointPhase, EndpointView } from '../../decisions/placement/types.js';
+import type { EntryEffect, MembershipEvent } from '../events.js';
+import type { HeartbeatReply, ListedInstance, ReceivedHeartbeat } from '../types.js';
+
+export interface MembershipInputs {
+  readonly now: () => Millis;
+  /** Part of the configuration that an endpoint daemon at this offset still needs. */
+  readonly getDelta: (offset: Offset) => Pick<HeartbeatReply, 'watermark' | 'records' | 'snapshot'>;
+}
+
+type MembershipStep = Step<MembershipState, EntryEffect>;
+
+const PHASES: readonly ReportedPhase[] = ['starting', 'ramping', 'serving', 'draining'];
+
+const toView = (heartbeat: ReceivedHeartbeat): EndpointView => {
+  const { load, model, service } = heartbeat;
+  return {
+    endpoint: heartbeat.endpoint,
+    incarnation: heartbeat.incarnation,
+    dataCentre: heartbeat.dataCentre,
+    ...(model === null ? {} : { model }),
+    version: heartbeat.version,
+    ...(service === null ? {} : { service }),
+    phase: PHASES.find((phase) => phase === heartbeat.phase) ?? 'starting',
+    limit: load.limit,
+    running: load.running,
+    waiting: load.waiting,
+    memoryUsedTokens: load.memoryUsedTokens,
+    memoryTotalTokens: load.memoryTotalTokens,
+    tokensPerSecond: load.tokensPerSecond,
+    loadAgeMs: load.ageMs,
+    prefixes: new Set(load.prefixes),
+    prefixAgeMs: load.prefixAgeMs,
+    prefixGaps: load.prefixGaps,
+    preemptions: load.preemptions,
+  };
+};
+
+const logPhase = (
+  effect: Extract<MembershipEffect, { readonly kind: 'phase-changed' }>,
+): EntryEffect => ({
+  kind: 'log',
+  name: 'endpoint-phase-changed',
+  details: {
+    endpoint: effect.endpoint,
+    data: { from: effect.from ?? 'unknown', to: effect.to },
+  },
+});
+
+const buildLost = (endpoint: EndpointId, incarnation: string): EntryEffect => ({
+  kind: 'post',
+  event: { to: 'requests', kind: 'endpoint-lost', endpoint, incarnation },
+});
+
+const toEntryEffects = (
+  state: MembershipState,
+  effect: MembershipEffect,
+): readonly EntryEffect[] => {
+  switch (effect.kind) {
+    case 'phase-changed':
+      return effect.to === 'gone' && effect.incarnation !== null
+        ? [logPhase(effect), buildLost(effect.endpoint, effect.incarnation)]
+        : [logPhase(effect)];
+    case 'incarnation-replaced':
+      return [buildLost(effect.endpoint, effect.older)];
+    case 'heartbeat-ignored':
+      return [
+        {
+          kind: 'log',
+          name: 'heartbeat-ignored',
+          details: { endpoint: effect.endpoint, data: { reason: effect.reason } },
+        },
+      ];
+    case 'forgotten':
+      state.views.delete(effect.endpoint);
+      return [];
+    // Heartbeats are answered where they arrive, since the answer carries more than the lease.
+    case 'acknowledge':
+      return [];
+    default:
+      return assertNever(effect);
+  }
+};
+
+const applyTable = (
+  state: MembershipState,
+  event: TableEvent<ReceivedHeartbeat>,
+): MembershipStep => {
+  const step = decideMembership(state.table, event);
+  const effects = step.effects.flatMap((effect) => toEntryEffects(state, effect));
+  return toStep({ ...state, table: step.state }, ...effects);
+};
+
+const takeHeartbeat = (
+  state: MembershipState,
+  event: Extract<MembershipEvent, { readonly kind: 'heartbeat-received' }>,
+  inputs: MembershipInputs,
+): MembershipStep => {
+  const { heartbeat, heartbeatId } = event;
+  const now = inputs.now();
+  const { endpoint, dataCentre, incarnation, sequence } = heartbeat;
+  const phase = PHASES.find((known) => known === heartbeat.phase) ?? 'starting';
+  const known = state.table.endpoints.get(endpoint)?.newest?.incarnation;
+  const taken = { endpoint, dataCentre, incarnation, sequence, phase, report: heartbeat };
+  const step = applyTable(state, { kind: 'heartbeat', heartbeat: taken, now });
+  const isTaken = step.state.table.endpoints.get(endpoint)?.newest === taken;
+  if (!isTaken) {
+    return toStep(step.state, ...step.effects, {
+      kind: 'reply-heartbeat',
+      heartbeatId,
+      reply: null,
+    });
+  }
+  state.views.set(endpoint, toView(heartbeat));
+  const joined: readonly EntryEffect[] =
+    known === incarnation
+      ? []
+      : [{ kind: 'log', name: 'endpoint-joined', details: { endpoint, data: { incarnation } } }];
+  return toStep(
+    step.state,
+    ...joined,
+    ...step.effects,
+    {
+      kind: 'reply-heartbeat',
+      heartbeatId,
+      reply: { ...inputs.getDelta(heartbeat.configurationOffset), leaseMs: LEASE_MS },
+    },
+    {
+      kind: 'post',
+      event: {
+        to: 'requests',
+        kind: 'capacity-changed',
+        endpoint,
+        reportedAt: now - heartbeat.load.ageMs,
+      },
+    },
+  );
+};
+
+const takeList = (
+  state: MembershipState,
+  instances: readonly ListedInstance[],
+  now: Millis,
+): MembershipStep => {
+  const listed = instances
+    .filter(({ role }) => role === 'endpoint')
+    .map(({ id, dataCentre, state: standing }) => ({ endpoint: id, dataCentre, state: standing }));
+  const peers = instances.filter(({ role }) => role === 'entry');
+  return applyTable({ ...state, peers }, { kind: 'instance-list', instances: listed, now });
+};
+
+/** A late tick means that this process was paused: what it knew of others is old. */
+const tick = (state: MembershipState, now: Millis): MembershipStep => {
+  const again: EntryEffect = {
+    kind: 'schedule',
+    delayMs: TICK_MS,
+    event: { to: 'membership', kind: 'tick' },
+  };
+  const lateness = now - state.lastTickAt - TICK_MS;
+  const next = { ...state, lastTickAt: now };
+  if (lateness < PAUSE_MS) {
+    const step = applyTable(next, { kind: 'tick', now });
+    return toStep(step.state, ...step.effects, again);
+  }
+  const step = applyTable(next, { kind: 'own-pause', now });
+  const logged: EntryEffect = {
+    kind: 'log',
+    name: 'pause-detected',
+    details: { data: { pausedMs: Math.round(lateness) } },
+  };
+  return toStep(step.state, logged, ...step.effects, again);
+};
+
+const toPhase = (eligibility: Eligibility, reported: EndpointPhase): EndpointPhase => {
+  switch (eligibility) {
+    case 'eligible':
+      return reported;
+    case 'data-centre-out':
+      return 'draining';
+    case 'unknown':
+      return 'gone';
+    case 'starting':
+    case 'draining':
+    case 'suspect':
+    case 'gone':
+      return eligibility;
+    default:
+      return assertNever(eligibility);
+  }
+};
+
+/**
+ * Lists the endpoints with their phase at this instant.
+ *
+ * @param state - membership
+ * @param now - current instant
+ * @returns views for placement
+ */
+export const listViews = (state: MembershipState, now: Millis): readonly EndpointView[] =>
+  [...state.views.values()].map((view) => {
+    const phase = toPhase(checkEligibility(state.table, view.endpoint, now), view.phase);
+    return phase === view.phase ? view : { ...view, phase };
+  });
+
+const decide = (
+  state: MembershipState,
+  event: MembershipEvent,
+  inputs: MembershipInputs,
+): MembershipStep => {
+  switch (event.kind) {
+    case 'heartbeat-received':
+      return takeHeartbeat(state, event, inputs);
+    case 'list-updated':
+      return takeList(state, event.instances, inputs.now());
+    case 'configuration-updated': {
+      const { dataCentresOut, offset } = event;
+      return applyTable(state, { kind: 'configuration', dataCentresOut, offset });
+    }
+    case 'tick':
+      return tick(state, inputs.now());
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the decisions of the `membership` child.
+ *
+ * @param inputs - clock and configuration
+ * @returns the child's logic
+ */
+export const createMembershipLogic = (
+  inputs: MembershipInputs,
+): ChildLogic<MembershipState, MembershipEvent, EntryEffect> => ({
+  init: () =>
+    toStep<MembershipState, EntryEffect>(
+      {
+        table: initMembership<ReceivedHeartbeat>(),
+        views: new Map(),
+        peers: [],
+        lastTickAt: inputs.now(),
+      },
+      { kind: 'schedule', delayMs: TICK_MS, event: { to: 'membership', kind: 'tick' } },
+    ),
+  decide: (state, event) => decide(state, event, inputs),
+});
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -247,6 +247,7 @@
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
   const { endpoint, incarnation } = event;
+  inputs.own.removeEndpoint(endpoint);
   return [...state.table.values()].flatMap((known) =>
     known.kind === 'generation' && known.place?.endpoint === endpoint
       ? storeStep(
@@ -315,6 +316,7 @@
     case 'retry-due':
       return updateRequest(state, event.requestId, (known) => retryRequest(known, inputs));
     case 'capacity-changed':
+      inputs.own.settleReport(event.endpoint, event.reportedAt);
       return drainQueue(state, inputs);
     case 'endpoint-lost':
       return handleEndpointLost(state, event, inputs);
