--- /dev/null
+++ b/packages/core/supervision/routedChild.ts
@@ -0,0 +1,38 @@
+import { startChild } from './supervisor.js';
+import type { ChildLogic, ChildSpec, StateSource } from './types.js';
+
+/** Event that names the child that handles it. */
+interface Routed {
+  readonly to: string;
+}
+
+export interface RoutedChildOptions<State, Event, Effect> {
+  readonly rebuildsFrom: StateSource;
+  /** Creates the decisions of the child, for each of its starts. */
+  readonly createLogic: () => ChildLogic<State, Event, Effect>;
+  /** Receives each new state, for the read-only views of other children. */
+  readonly publish?: (state: State) => void;
+}
+
+/**
+ * Builds a permanent child that handles the events of its tree that carry its name.
+ *
+ * @param name - name that the events carry in their field `to`
+ * @param options - decisions of the child and the source of its state
+ * @returns the specification for the supervisor
+ */
+export const buildRoutedChild = <Whole extends Routed, Name extends Whole['to'], State, Effect>(
+  name: Name,
+  options: RoutedChildOptions<State, Extract<Whole, { to: Name }>, Effect>,
+): ChildSpec<Whole, Effect> => {
+  const isOwn = (event: Whole): event is Extract<Whole, { to: Name }> => event.to === name;
+  return {
+    name,
+    restart: 'permanent',
+    rebuildsFrom: options.rebuildsFrom,
+    start: () => {
+      const child = startChild(options.createLogic(), options.publish ?? (() => undefined));
+      return { ...child, handle: (event) => (isOwn(event) ? child.handle(event) : []) };
+    },
+  };
+};
--- a/packages/core/supervision/types.ts
+++ b/packages/core/supervision/types.ts
@@ -8,7 +8,7 @@
 export type RestartStrategy = 'one-for-one' | 'rest-for-one' | 'one-for-all';
 
 /** Where a restarted child takes its state from. */
-export type StateSource = 'settings' | 'log' | 'peers' | 'endpoint' | 'nothing';
+export type StateSource = 'settings' | 'log' | 'peers' | 'heartbeats' | 'endpoint' | 'nothing';
 
 export interface RestartIntensity {
   readonly restarts: number;
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -115,7 +115,7 @@
   const now = inputs.now();
   const next = { ...state, reach: 'reached', health } as const;
   if (!isReady(next, health, inputs)) {
-    return dropProbes(applyAdmission(next, { kind: 'engine-unreachable', now }, inputs));
+    return removeProbes(applyAdmission(next, { kind: 'engine-unreachable', now }, inputs));
   }
   return applyAdmission(
     next,
@@ -132,13 +132,13 @@
 };
 
 /** The next poll asks again; an immediate question would turn an outage into a busy loop. */
-const dropProbes = (step: EngineStep): EngineStep => ({
+const removeProbes = (step: EngineStep): EngineStep => ({
   state: step.state,
   effects: step.effects.filter(({ kind }) => kind !== 'fetch-health'),
 });
 
 const applyUnreachable = (state: EngineState, reason: string, inputs: EngineInputs): EngineStep => {
-  const step = dropProbes(
+  const step = removeProbes(
     applyAdmission(
       { ...state, reach: 'unreachable', health: null },
       { kind: 'engine-unreachable', now: inputs.now() },
@@ -283,7 +283,7 @@
   );
 };
 
-const pollEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
+const probeEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
   if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, POLL);
   return toStep<EngineState, EndpointEffect>(
     state,
@@ -303,7 +303,7 @@
 const decideEngine = (state: EngineState, event: EngineEvent, inputs: EngineInputs): EngineStep => {
   switch (event.kind) {
     case 'poll':
-      return pollEngine(state, inputs);
+      return probeEngine(state, inputs);
     case 'health-received':
       return applyHealth(state, event, inputs);
     case 'health-failed':
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -96,6 +96,7 @@
   readonly fetchCacheEvents: (from: number) => void;
   readonly startGeneration: (generationId: GenerationId, call: GenerateCall) => void;
   readonly cancelGeneration: (generationId: GenerationId) => void;
+  readonly cancelAll: () => void;
   readonly setFlow: (generationId: GenerationId, flow: 'flowing' | 'paused') => void;
   readonly callService: (call: ServiceCall) => void;
   readonly close: () => Promise<void>;
@@ -269,15 +270,20 @@
     }
   };
 
+  const cancelGeneration = (generationId: GenerationId): void => {
+    running.get(generationId)?.gate?.open();
+    running.get(generationId)?.controller.abort();
+    running.delete(generationId);
+  };
+
   return {
     fetchHealth,
     fetchLoad,
     fetchCacheEvents,
     startGeneration: (generationId, call) => void generate(generationId, call),
-    cancelGeneration: (generationId) => {
-      running.get(generationId)?.gate?.open();
-      running.get(generationId)?.controller.abort();
-      running.delete(generationId);
+    cancelGeneration,
+    cancelAll: () => {
+      for (const generationId of [...running.keys()]) cancelGeneration(generationId);
     },
     setFlow: (generationId, flow) => {
       const state = running.get(generationId);
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -93,7 +93,7 @@
   return targets.flatMap((target) => entries.get(target) ?? []);
 };
 
-const beat = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
+const sendBeat = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
   const now = inputs.now();
   // Counted by uptime, so that a restarted child does not fall behind its earlier heartbeats.
   const sequence = Math.max(state.sequence + 1, Math.ceil(now - inputs.startedAt));
@@ -121,7 +121,7 @@
 ): HeartbeatsStep => {
   switch (event.kind) {
     case 'beat-due': {
-      const step = beat(state, inputs);
+      const step = sendBeat(state, inputs);
       return toStep(step.state, ...step.effects, {
         kind: 'schedule',
         delayMs: inputs.intervalMs,
@@ -129,7 +129,7 @@
       });
     }
     case 'beat':
-      return beat(state, inputs);
+      return sendBeat(state, inputs);
     case 'acknowledged': {
       const { from, sequence } = event;
       const now = inputs.now();
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -75,10 +75,16 @@
   readonly replyAnswer: (callId: CallId, answer: ServiceAnswer) => void;
   readonly replyFailure: (callId: CallId, failure: Failure) => void;
   readonly replyFence: (callId: CallId, result: FenceResult, answer: ServiceAnswer | null) => void;
+  /** Fails what an earlier state of a restarted child had open. */
+  readonly failReaders: () => void;
+  readonly failCalls: () => void;
   readonly listen: (host: string, port: number) => Promise<string>;
   readonly close: () => Promise<void>;
 }
 
+const LOST_TEXT = 'the endpoint daemon lost its state';
+const LOST_STREAM = createFailure('may-have-run', 'stream-lost', LOST_TEXT);
+const LOST_CALL = createFailure('may-have-run', 'endpoint-failed', LOST_TEXT);
 const SHED_FAILURE = createFailure('not-run', 'overloaded', 'the event queue is full');
 
 /**
@@ -114,7 +120,8 @@
         post({ to: 'streams', kind: 'reader-took', callId, nextNumber });
       }
     } finally {
-      if (readers.delete(callId)) post({ to: 'streams', kind: 'reader-gone', callId });
+      readers.delete(callId);
+      post({ to: 'streams', kind: 'reader-gone', callId });
     }
   }
 
@@ -213,6 +220,12 @@
       const stored = answer === null ? {} : { answer: toAnswerMessage(answer) };
       resolve?.(create(FenceResponseSchema, { result, ...stored }));
     },
+    failReaders: () => {
+      for (const callId of [...readers.keys()]) sendFailure(callId, LOST_STREAM);
+    },
+    failCalls: () => {
+      for (const callId of [...calls.keys()]) replyFailure(callId, LOST_CALL);
+    },
     listen: listener.listen,
     close: listener.close,
   };
--- /dev/null
+++ b/packages/endpoint/supervisor.ts
@@ -0,0 +1,76 @@
+import type { CallsState } from './calls/types.js';
+import type { EngineState } from './engine/types.js';
+import type { HeartbeatsState } from './heartbeats/types.js';
+import type { PlatformState } from './platform/platform.js';
+import type { GateState } from './rpc/gate.js';
+import type { StreamsState } from './streams/types.js';
+import type { EndpointEffect, EndpointEvent } from './types.js';
+import { buildRoutedChild } from '../core/supervision/routedChild.js';
+import type {
+  ChildLogic,
+  ChildSpec,
+  StateSource,
+  SupervisorSpec,
+} from '../core/supervision/types.js';
+
+/** Read-only views of the children's states, published after each of their steps. */
+export interface EndpointStates {
+  platform: PlatformState;
+  engine: EngineState;
+  streams: StreamsState;
+  calls: CallsState;
+  heartbeats: HeartbeatsState;
+  rpc: GateState;
+}
+
+type ChildName = keyof EndpointStates;
+
+/** Decisions of each child. */
+export type EndpointLogics = {
+  readonly [Name in ChildName]: ChildLogic<
+    EndpointStates[Name],
+    Extract<EndpointEvent, { readonly to: Name }>,
+    EndpointEffect
+  >;
+};
+
+/**
+ * Describes the supervisor of an endpoint daemon.
+ *
+ * The engine comes before the work that it bears, and the gate comes last, so that nothing is let
+ * in before the rest runs. Each child can restart alone: the others only read its state.
+ *
+ * @param logics - decisions of the children
+ * @param states - receives each new state
+ * @returns the supervisor's specification
+ */
+export const createEndpointSupervisor = (
+  logics: EndpointLogics,
+  states: EndpointStates,
+): SupervisorSpec<EndpointEvent, EndpointEffect> => {
+  const build = <Name extends ChildName>(
+    name: Name,
+    rebuildsFrom: StateSource,
+  ): ChildSpec<EndpointEvent, EndpointEffect> =>
+    buildRoutedChild<EndpointEvent, Name, EndpointStates[Name], EndpointEffect>(name, {
+      rebuildsFrom,
+      createLogic: () => logics[name],
+      publish: (state) => {
+        states[name] = state;
+      },
+    });
+  return {
+    name: 'endpoint',
+    strategy: 'one-for-one',
+    intensity: { restarts: 5, withinMs: 60_000 },
+    children: [
+      build('platform', 'settings'),
+      build('engine', 'endpoint'),
+      build('streams', 'nothing'),
+      build('calls', 'nothing'),
+      build('heartbeats', 'heartbeats'),
+      build('rpc', 'nothing'),
+    ],
+    route: (event) => event.to,
+  };
+};
--- /dev/null
+++ b/packages/endpoint/views.ts
@@ -0,0 +1,94 @@
+import type { EndpointStates } from './supervisor.js';
+import type { EngineLoad, HeartbeatContent } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { Millis } from '../core/clock.js';
+import { getLimit } from '../decisions/admission/decideLimit.js';
+import type { ClassTargets, Importance } from '../decisions/placement/types.js';
+
+const NO_LOAD: EngineLoad = {
+  startId: '',
+  running: 0,
+  waiting: 0,
+  memoryUsedTokens: 0,
+  memoryTotalTokens: 0,
+  tokensPerSecond: 0,
+  preemptions: 0,
+  ageMs: 0,
+};
+
+const describePhase = (states: EndpointStates): string => {
+  if (states.rpc.phase !== 'accepting' || states.heartbeats.lease.stay === 'leaving') {
+    return 'draining';
+  }
+  const { phase } = states.engine.admission;
+  switch (phase.kind) {
+    case 'starting':
+    case 'ramping':
+    case 'serving':
+      return phase.kind;
+    default:
+      return assertNever(phase);
+  }
+};
+
+/**
+ * Describes the endpoint for a heartbeat.
+ *
+ * What runs is counted here, not taken from the lagging load page: this daemon is the only way to
+ * its endpoint.
+ *
+ * @param states - states of the children
+ * @param now - current instant
+ * @returns phase, limit, load and evidence
+ */
+export const describeLoad = (
+  states: EndpointStates,
+  now: Millis,
+): Omit<HeartbeatContent, 'sequence' | 'configurationOffset'> => {
+  const { engine } = states;
+  const load = engine.load ?? NO_LOAD;
+  const running = engine.admission.running.size;
+  return {
+    phase: describePhase(states),
+    limit: getLimit(engine.admission),
+    load: { ...load, running, waiting: 0, ageMs: 0 },
+    prefixes: [...engine.sketch.prefixes],
+    prefixAgeMs: Math.max(0, now - engine.sketch.newestAt),
+    prefixGaps: engine.sketch.gaps,
+    evidence: [...engine.evidence.values()],
+  };
+};
+
+/**
+ * Finds what the admission limit needs to know of a class.
+ *
+ * @param _states - states of the children
+ * @param className - class of the request
+ * @param importance - importance that the entry daemon sent
+ * @returns the class's targets
+ */
+export const getClassTargets = (
+  _states: EndpointStates,
+  className: string,
+  importance: string,
+): ClassTargets => {
+  const known: readonly Importance[] = ['critical', 'standard', 'background'];
+  return {
+    className,
+    importance: known.find((candidate) => candidate === importance) ?? 'standard',
+    answerLength: 'long',
+  };
+};
+
+/**
+ * Tells why the endpoint should get no new work now.
+ *
+ * @param states - states of the children
+ * @returns the reason, or null when it is ready
+ */
+export const getUnreadyReason = (states: EndpointStates): string | null => {
+  if (states.rpc.phase !== 'accepting') return 'draining';
+  if (states.engine.reach !== 'reached') return 'the endpoint does not answer';
+  if (getLimit(states.engine.admission) === 0) return 'the endpoint is not confirmed';
+  return states.heartbeats.lease.lease === 'held' ? null : 'no lease';
+};
--- /dev/null
+++ b/packages/endpoint/wiring.ts
@@ -0,0 +1,248 @@
+import { createHash } from 'node:crypto';
+import { asFunction, asValue, createContainer } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+import fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import { createCallsLogic } from './calls/calls.js';
+import { classifyEvent } from './classify.js';
+import { createEngineLogic } from './engine/engine.js';
+import { createEngineClient } from './engine/engineClient.js';
+import type { EngineClient } from './engine/engineClient.js';
+import { createEntryClient } from './heartbeats/entryClient.js';
+import type { EntryClient } from './heartbeats/entryClient.js';
+import { createHeartbeatsLogic } from './heartbeats/heartbeats.js';
+import { createListAdapter } from './platform/listAdapter.js';
+import { createPlatformLogic } from './platform/platform.js';
+import { performEffect } from './perform.js';
+import { createGateLogic } from './rpc/gate.js';
+import { createRpcServer } from './rpc/rpcServer.js';
+import type { RpcServer } from './rpc/rpcServer.js';
+import { createStreamsLogic } from './streams/streams.js';
+import { createEndpointSupervisor } from './supervisor.js';
+import type { EndpointLogics, EndpointStates } from './supervisor.js';
+import { describeLoad, getClassTargets, getUnreadyReason } from './views.js';
+import type { EndpointEffect, EndpointEvent } from './types.js';
+import { createSystemClock } from '../core/clock.js';
+import type { Clock } from '../core/clock.js';
+import { createConsolaWriter } from '../core/events/consolaWriter.js';
+import { createEventLog } from '../core/events/eventLog.js';
+import type { EventLog } from '../core/events/eventLog.js';
+import { registerInspectionPages } from '../core/http/inspectionPages.js';
+import { createId } from '../core/ids.js';
+import { createMetrics } from '../core/metrics/metrics.js';
+import type { Metrics } from '../core/metrics/metrics.js';
+import { createDaemon } from '../core/supervision/daemon.js';
+import type { Daemon } from '../core/supervision/daemon.js';
+import { startSupervisor } from '../core/supervision/supervisor.js';
+import { DEFAULT_ADMISSION_SETTINGS } from '../decisions/admission/constants.js';
+import { DEFAULT_NONCE_SETTINGS } from '../decisions/idempotency/constants.js';
+import { createNonceTable } from '../decisions/idempotency/nonces.js';
+import { READER_WINDOW_CHUNKS } from '../decisions/streams/constants.js';
+import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
+import type { EndpointSettings } from '../settings/types.js';
+
+/** Everything that one endpoint daemon is made of. */
+export interface EndpointCradle {
+  readonly settings: EndpointSettings;
+  readonly onEnd: (reason: EndReason) => void;
+  readonly clock: Clock;
+  readonly incarnation: string;
+  readonly urls: { rpc: string; http: string };
+  readonly states: EndpointStates;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly engine: EngineClient;
+  readonly rpc: RpcServer;
+  readonly entries: EntryClient;
+  readonly fetchList: () => void;
+  readonly logics: EndpointLogics;
+  readonly http: FastifyInstance;
+  readonly daemon: Daemon<EndpointEvent>;
+}
+
+/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+export type EndReason =
+  | { readonly kind: 'drained'; readonly left: number }
+  | { readonly kind: 'fault'; readonly error: unknown };
+
+const HASH_BYTES = 6;
+
+const hashText = (text: string): number =>
+  createHash('sha256').update(text).digest().readUIntBE(0, HASH_BYTES);
+
+const hashBody = (body: Uint8Array): string =>
+  createHash('sha256').update(body).digest('base64url');
+
+const buildEvents = ({ settings, incarnation, clock }: EndpointCradle): EventLog =>
+  createEventLog({
+    process: settings.process,
+    role: 'endpoint',
+    incarnation,
+    clock,
+    write: createConsolaWriter(settings.log.format),
+  });
+
+const buildEngine = (cradle: EndpointCradle): EngineClient => {
+  const { target } = cradle.settings;
+  const url = target.kind === 'model' ? target.engineUrl : target.serviceUrl;
+  return createEngineClient(url, cradle.clock, (event) => {
+    cradle.daemon.loop.post(event);
+  });
+};
+
+const buildRpc = (cradle: EndpointCradle): RpcServer =>
+  createRpcServer(cradle.incarnation, (event) => cradle.daemon.loop.post(event));
+
+const buildEntries = (cradle: EndpointCradle): EntryClient => {
+  const { settings, incarnation, urls } = cradle;
+  const { target } = settings;
+  const getIdentity = () => ({
+    endpoint: settings.endpoint,
+    instance: settings.instance,
+    dataCentre: settings.dataCentre,
+    incarnation,
+    model: target.kind === 'model' ? target.model : '',
+    version: target.version,
+    service: target.kind === 'service' ? target.service : '',
+    rpcUrl: urls.rpc,
+    httpUrl: urls.http,
+  });
+  return createEntryClient(getIdentity, settings.heartbeat.intervalMs, (event) => {
+    cradle.daemon.loop.post(event);
+  });
+};
+
+const buildFetchList = (cradle: EndpointCradle): (() => void) =>
+  createListAdapter(cradle.settings.platform.listUrl, cradle.settings.instance, (event) => {
+    cradle.daemon.loop.post(event);
+  });
+
+const buildLogics = (cradle: EndpointCradle): EndpointLogics => {
+  const { settings, clock, incarnation, states } = cradle;
+  const { now } = clock;
+  const nonces = createNonceTable(incarnation, {
+    ...DEFAULT_NONCE_SETTINGS,
+    answerKeepMs: settings.answers.retentionMs,
+    maxAnswerBytes: settings.answers.maxBytes,
+  });
+  return {
+    platform: createPlatformLogic(),
+    engine: createEngineLogic({
+      now,
+      target: settings.target.kind,
+      version: settings.target.version,
+      admission: {
+        ...DEFAULT_ADMISSION_SETTINGS,
+        startLimit: settings.admission.startLimit,
+        maxLimit: settings.admission.maxLimit,
+      },
+      survival: createSurvivalTable(),
+      findTargets: (className, importance) => getClassTargets(states, className, importance),
+      findThresholds: () => undefined,
+    }),
+    streams: createStreamsLogic({
+      now,
+      limits: {
+        maxChunks: settings.buffer.maxChunks,
+        maxBytes: settings.buffer.maxTotalBytes,
+        windowChunks: READER_WINDOW_CHUNKS,
+      },
+    }),
+    calls: createCallsLogic({ now, nonces, hashBody }),
+    heartbeats: createHeartbeatsLogic({
+      now,
+      endpoint: settings.endpoint,
+      incarnation,
+      startedAt: now(),
+      intervalMs: settings.heartbeat.intervalMs,
+      subsetSize: settings.heartbeat.subsetSize,
+      hash: hashText,
+      getEntries: () => states.platform.entries,
+      describeLoad: () => describeLoad(states, now()),
+      getConfigurationOffset: () => 0,
+    }),
+    rpc: createGateLogic({
+      now,
+      drainMs: settings.drainMs,
+      getLease: () => states.heartbeats.lease,
+      countOpenWork: () => states.streams.readers.size + states.calls.running.size,
+    }),
+  };
+};
+
+const buildHttp = (cradle: EndpointCradle): FastifyInstance => {
+  const server = fastify({ forceCloseConnections: true });
+  registerInspectionPages(server, {
+    process: cradle.settings.process,
+    role: 'endpoint',
+    incarnation: cradle.incarnation,
+    events: cradle.events,
+    metrics: cradle.metrics,
+    getUnreadyReason: () => getUnreadyReason(cradle.states),
+  });
+  return server;
+};
+
+const buildDaemon = (cradle: EndpointCradle): Daemon<EndpointEvent> => {
+  const { clock, events, states } = cradle;
+  const adapters = {
+    loop: () => daemon.loop,
+    events,
+    engine: cradle.engine,
+    rpc: cradle.rpc,
+    entries: cradle.entries,
+    fetchList: cradle.fetchList,
+    endProcess: (left: number) => {
+      cradle.onEnd({ kind: 'drained', left });
+    },
+  };
+  const spec = createEndpointSupervisor(cradle.logics, states);
+  const daemon = createDaemon<EndpointEvent, EndpointEffect>({
+    classify: classifyEvent,
+    startRoot: () =>
+      startSupervisor(spec, clock, ({ child, rebuildsFrom, error }) => {
+        events.record('child-failed', { data: { child, rebuildsFrom, error: String(error) } });
+      }),
+    perform: (effect) => {
+      performEffect(effect, adapters);
+    },
+    onFault: (error) => {
+      events.record('daemon-fault', { data: { error: String(error) } });
+      cradle.onEnd({ kind: 'fault', error });
+    },
+  });
+  return daemon;
+};
+
+/**
+ * Wires the parts of an endpoint daemon.
+ *
+ * @param settings - checked settings
+ * @param onEnd - called when the daemon wants its process to end
+ * @returns the container
+ */
+export const wireEndpointDaemon = (
+  settings: EndpointSettings,
+  onEnd: (reason: EndReason) => void,
+): AwilixContainer<EndpointCradle> => {
+  const container = createContainer<EndpointCradle>({ injectionMode: 'PROXY', strict: true });
+  container.register({
+    settings: asValue(settings),
+    onEnd: asValue(onEnd),
+    clock: asFunction(createSystemClock).singleton(),
+    incarnation: asFunction(createId).singleton(),
+    urls: asValue({ rpc: '', http: '' }),
+    // Each child publishes its state before anything reads it: they start in the declared order.
+    states: asValue({} as EndpointStates),
+    events: asFunction(buildEvents).singleton(),
+    metrics: asFunction(createMetrics).singleton(),
+    engine: asFunction(buildEngine).singleton(),
+    rpc: asFunction(buildRpc).singleton(),
+    entries: asFunction(buildEntries).singleton(),
+    fetchList: asFunction(buildFetchList).singleton(),
+    logics: asFunction(buildLogics).singleton(),
+    http: asFunction(buildHttp).singleton(),
+    daemon: asFunction(buildDaemon).singleton(),
+  });
+  return container;
+};
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -43,49 +43,44 @@
   | { readonly kind: 'operator'; readonly operationId: string }
   | { readonly kind: 'own-record' };
 
-export type PlatformEvent =
-  | { readonly to: 'platform'; readonly kind: 'poll-list' }
+export type ListEvent =
+  | { readonly to: 'list'; readonly kind: 'poll' }
   | {
-      readonly to: 'platform';
+      readonly to: 'list';
       readonly kind: 'list-received';
       readonly instances: readonly ListedInstance[];
     }
-  | { readonly to: 'platform'; readonly kind: 'list-failed'; readonly reason: string }
-  | {
-      readonly to: 'platform';
-      readonly kind: 'read-ended';
-      readonly stream: LogStream;
-      readonly batch: LogBatch;
-    }
-  | {
-      readonly to: 'platform';
-      readonly kind: 'read-failed';
-      readonly stream: LogStream;
-      readonly reason: string;
-    }
-  | { readonly to: 'platform'; readonly kind: 'read-due'; readonly stream: LogStream }
+  | { readonly to: 'list'; readonly kind: 'list-failed'; readonly reason: string };
+
+/** Events of the reader of one stream. */
+type ReadEvent<Child extends string> =
+  | { readonly to: Child; readonly kind: 'read-ended'; readonly batch: LogBatch }
+  | { readonly to: Child; readonly kind: 'read-failed'; readonly reason: string }
+  | { readonly to: Child; readonly kind: 'read-due' }
+  | { readonly to: Child; readonly kind: 'upkeep' };
+
+export type IntentsEvent = ReadEvent<'intents'>;
+
+export type ControlEvent =
+  | ReadEvent<'control'>
+  | { readonly to: 'control'; readonly kind: 'peer-answered'; readonly snapshot: unknown }
+  | { readonly to: 'control'; readonly kind: 'peer-failed'; readonly reason: string };
+
+export type AppendsEvent =
   | {
-      readonly to: 'platform';
+      readonly to: 'appends';
       readonly kind: 'append-requested';
       readonly stream: LogStream;
-      readonly records: readonly unknown[];
+      readonly record: unknown;
       readonly owner: AppendOwner;
     }
-  | { readonly to: 'platform'; readonly kind: 'commit-due' }
+  | { readonly to: 'appends'; readonly kind: 'commit-due'; readonly stream: LogStream }
   | {
-      readonly to: 'platform';
+      readonly to: 'appends';
       readonly kind: 'append-ended';
-      readonly stream: LogStream;
       readonly batchId: number;
       readonly result: AppendResult;
-    }
-  | { readonly to: 'platform'; readonly kind: 'upkeep' }
-  | {
-      readonly to: 'platform';
-      readonly kind: 'peer-answered';
-      readonly snapshot: unknown;
-    }
-  | { readonly to: 'platform'; readonly kind: 'peer-failed'; readonly reason: string };
+    };
 
 export type MembershipEvent =
   | {
@@ -184,7 +179,14 @@
   | { readonly to: 'frontend'; readonly kind: 'drain-checked' };
 
 export type EntryEvent =
-  PlatformEvent | MembershipEvent | RequestsEvent | OperatorEvent | FrontendEvent;
+  | ListEvent
+  | IntentsEvent
+  | ControlEvent
+  | AppendsEvent
+  | MembershipEvent
+  | RequestsEvent
+  | OperatorEvent
+  | FrontendEvent;
 
 export type EntryEffect =
   | { readonly kind: 'post'; readonly event: EntryEvent }
--- a/packages/entry/frontend/constants.ts
+++ b/packages/entry/frontend/constants.ts
@@ -9,3 +9,9 @@
 
 /** Unsent bytes of one caller's stream above which its connection is closed; it can resume. */
 export const CALLER_BACKLOG_BYTES = 1_048_576;
+
+/** Period in which a draining process looks whether its requests have ended. */
+export const DRAIN_CHECK_MS = 100;
+
+/** Time after the hand-over of streams that calls get to end. */
+export const HAND_OVER_MS = 5_000;
--- /dev/null
+++ b/packages/entry/frontend/gate.ts
@@ -0,0 +1,99 @@
+import { DRAIN_CHECK_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { EntryEffect, FrontendEvent } from '../events.js';
+import type { CallerRequest } from '../types.js';
+
+export type GateState =
+  | { readonly phase: 'accepting' }
+  | { readonly phase: 'draining'; readonly since: Millis }
+  | { readonly phase: 'handing-over'; readonly since: Millis }
+  | { readonly phase: 'ended' };
+
+export interface GateInputs {
+  readonly now: () => Millis;
+  /** Time that running requests get to end; after it streams are handed over. */
+  readonly drainMs: Millis;
+  /** Time after the hand-over that the rest gets, such as calls that must not be cut off. */
+  readonly handOverMs: Millis;
+  readonly countOpen: () => number;
+}
+
+type GateStep = Step<GateState, EntryEffect>;
+
+const CHECK: EntryEffect = {
+  kind: 'schedule',
+  delayMs: DRAIN_CHECK_MS,
+  event: { to: 'frontend', kind: 'drain-checked' },
+};
+
+const handleArrival = (state: GateState, request: CallerRequest): EntryEffect => {
+  if (state.phase === 'accepting') {
+    return { kind: 'post', event: { to: 'requests', kind: 'request-received', request } };
+  }
+  const failure = createFailure('not-run', 'draining', 'the entry daemon is leaving', 1);
+  return { kind: 'fail-request', requestId: request.requestId, failure };
+};
+
+const startDrain = (state: GateState, reason: string, now: Millis): GateStep => {
+  if (state.phase !== 'accepting') return toStep(state);
+  return toStep<GateState, EntryEffect>(
+    { phase: 'draining', since: now },
+    { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
+    CHECK,
+  );
+};
+
+const finishDrain = (left: number): GateStep =>
+  toStep<GateState, EntryEffect>({ phase: 'ended' }, { kind: 'end-process', left });
+
+const checkDrain = (state: GateState, inputs: GateInputs): GateStep => {
+  const now = inputs.now();
+  const open = inputs.countOpen();
+  switch (state.phase) {
+    case 'accepting':
+    case 'ended':
+      return toStep(state);
+    case 'draining':
+      if (open === 0) return finishDrain(0);
+      if (now - state.since < inputs.drainMs) return toStep(state, CHECK);
+      return toStep<GateState, EntryEffect>(
+        { phase: 'handing-over', since: now },
+        { kind: 'post', event: { to: 'requests', kind: 'drain-ended' } },
+        CHECK,
+      );
+    case 'handing-over':
+      if (open > 0 && now - state.since < inputs.handOverMs) return toStep(state, CHECK);
+      return finishDrain(open);
+    default:
+      return assertNever(state);
+  }
+};
+
+/**
+ * Creates the decisions of the `frontend` child: whether new requests are let in, and the drain.
+ *
+ * @param inputs - clock, time limits and the number of open requests
+ * @returns the child's logic
+ */
+export const createGateLogic = (
+  inputs: GateInputs,
+): ChildLogic<GateState, FrontendEvent, EntryEffect> => ({
+  init: () => toStep<GateState, EntryEffect>({ phase: 'accepting' }),
+  decide: (state, event) => {
+    switch (event.kind) {
+      case 'request-arrived':
+        return toStep(state, handleArrival(state, event.request));
+      case 'drain-started':
+        return startDrain(state, event.reason, inputs.now());
+      case 'drain-checked':
+        return checkDrain(state, inputs);
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- a/packages/entry/frontend/responders.ts
+++ b/packages/entry/frontend/responders.ts
@@ -28,6 +28,9 @@
   readonly finishGeneration: (requestId: RequestId, usage: string) => void;
   readonly sendAnswer: (requestId: RequestId, answer: ServiceAnswer) => void;
   readonly failRequest: (requestId: RequestId, failure: Failure) => void;
+  /** Closes a connection without an answer. */
+  readonly breakOff: (requestId: RequestId) => void;
+  readonly failAll: (failure: Failure) => void;
   /** Ends the connection after a resume ticket, without an end mark. */
   readonly handOver: (requestId: RequestId, ticket: string, nextNumber: number) => void;
 }
@@ -95,6 +98,18 @@
     return responder;
   };
 
+  const failRequest = (requestId: RequestId, failure: Failure): void => {
+    const responder = take(requestId);
+    if (responder === undefined) return;
+    const { raw } = responder.reply;
+    if (!raw.headersSent) {
+      sendProblem(responder, requestId, failure);
+      return;
+    }
+    const problem = toProblem(failure, requestId);
+    raw.end(`event: error\ndata: ${JSON.stringify({ ...problem })}\n\n`);
+  };
+
   return {
     open: (requestId, reply, form) => {
       reply.hijack();
@@ -145,16 +160,12 @@
       raw.writeHead(answer.status, { ...Object.fromEntries(headers), 'x-request-id': requestId });
       raw.end(answer.body);
     },
-    failRequest: (requestId, failure) => {
-      const responder = take(requestId);
-      if (responder === undefined) return;
-      const { raw } = responder.reply;
-      if (!raw.headersSent) {
-        sendProblem(responder, requestId, failure);
-        return;
-      }
-      const problem = toProblem(failure, requestId);
-      raw.end(`event: error\ndata: ${JSON.stringify({ ...problem })}\n\n`);
+    failRequest,
+    breakOff: (requestId) => {
+      take(requestId)?.reply.raw.destroy();
+    },
+    failAll: (failure) => {
+      for (const requestId of [...open.keys()]) failRequest(requestId, failure);
     },
     handOver: (requestId, ticket, nextNumber) => {
       const responder = take(requestId);
--- /dev/null
+++ b/packages/entry/main.ts
@@ -0,0 +1,51 @@
+import { wireEntryDaemon } from './wiring.js';
+import type { EndReason } from './wiring.js';
+import type { EntrySettings } from '../settings/types.js';
+
+/** A daemon that serves until it is stopped. */
+export interface RunningDaemon {
+  readonly urls: Readonly<Record<string, string>>;
+  /** Drains and ends; resolves when nothing is left or the drain time is over. */
+  readonly stop: () => Promise<void>;
+  /** Resolves when the daemon ended, for whatever reason. */
+  readonly ended: Promise<EndReason>;
+}
+
+/**
+ * Starts an entry daemon in this process.
+ *
+ * @param settings - checked settings
+ * @returns the running daemon
+ */
+export const startEntryDaemon = async (settings: EntrySettings): Promise<RunningDaemon> => {
+  let resolveEnded: (reason: EndReason) => void = () => undefined;
+  const ended = new Promise<EndReason>((resolve) => {
+    resolveEnded = resolve;
+  });
+  const { cradle } = wireEntryDaemon(settings, resolveEnded);
+  const { daemon, callers, heartbeats, events } = cradle;
+  // The tree runs before the first address is open, since every arrival is an event for it.
+  daemon.start();
+  const rpc = await heartbeats.listen(settings.rpc.host, settings.rpc.port);
+  const http = await callers.listen({ host: settings.callers.host, port: settings.callers.port });
+  events.record('daemon-started', { data: { rpc, http } });
+
+  const close = ended.then(async (reason) => {
+    const left = reason.kind === 'drained' ? reason.left : 0;
+    events.record('daemon-stopped', { data: { reason: reason.kind, left } });
+    daemon.stop();
+    cradle.endpoints.close();
+    await callers.close();
+    await heartbeats.close();
+    return reason;
+  });
+
+  return {
+    urls: { callers: http, rpc },
+    stop: async () => {
+      daemon.loop.post({ to: 'frontend', kind: 'drain-started', reason: 'stop requested' });
+      await close;
+    },
+    ended: close,
+  };
+};
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -170,7 +170,7 @@
 };
 
 /** A late tick means that this process was paused: what it knew of others is old. */
-const tick = (state: MembershipState, now: Millis): MembershipStep => {
+const handleTick = (state: MembershipState, now: Millis): MembershipStep => {
   const again: EntryEffect = {
     kind: 'schedule',
     delayMs: TICK_MS,
@@ -237,7 +237,7 @@
       return applyTable(state, { kind: 'configuration', dataCentresOut, offset });
     }
     case 'tick':
-      return tick(state, inputs.now());
+      return handleTick(state, inputs.now());
     default:
       return assertNever(event);
   }
--- /dev/null
+++ b/packages/entry/perform.ts
@@ -0,0 +1,143 @@
+import type { EntryEffect, EntryEvent, OperatorNotice, OperatorReply } from './events.js';
+import type { Responders } from './frontend/responders.js';
+import type { TicketIssuer } from './frontend/tickets.js';
+import type { HeartbeatServer } from './membership/heartbeatServer.js';
+import type { PlatformAdapter } from './platform/platformAdapter.js';
+import type { EndpointClient } from './requests/endpointClient.js';
+import { assertNever } from '../core/assertNever.js';
+import type { EventLog } from '../core/events/eventLog.js';
+import type { Loop } from '../core/loop/types.js';
+import type { Metrics } from '../core/metrics/metrics.js';
+import { createFailure } from '../core/verdict.js';
+
+/** Adapters that carry out the effects of an entry daemon. */
+export interface EntryAdapters {
+  readonly loop: () => Loop<EntryEvent>;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly responders: Responders;
+  readonly tickets: TicketIssuer;
+  readonly heartbeats: HeartbeatServer;
+  readonly platform: PlatformAdapter;
+  readonly endpoints: EndpointClient;
+  readonly replyOperator: (operationId: string, reply: OperatorReply) => void;
+  readonly notifyOperators: (notice: OperatorNotice) => void;
+  readonly endProcess: (left: number) => void;
+}
+
+type EffectOf<Kind extends EntryEffect['kind']> = Extract<EntryEffect, { readonly kind: Kind }>;
+
+const LOST_REQUEST = createFailure(
+  'may-have-run',
+  'internal',
+  'the entry daemon lost the state of the request',
+);
+
+const writeChunks = (effect: EffectOf<'write-chunks'>, adapters: EntryAdapters): void => {
+  const { requestId, customer, model, source, fromNumber, chunks } = effect;
+  const { ticket, createdAt } = adapters.tickets.getTicket(requestId, customer, source);
+  const identity = { generationId: source.generationId, model, createdAt };
+  const written = adapters.responders.writeChunks({
+    requestId,
+    identity,
+    ticket,
+    fromNumber,
+    chunks,
+  });
+  if (written === 'written') return;
+  // The caller reads too slowly to buffer for it here; it can resume from its last event id.
+  adapters.responders.breakOff(requestId);
+  adapters.loop().post({ to: 'requests', kind: 'caller-gone', requestId });
+};
+
+const transferStream = (effect: EffectOf<'hand-over'>, adapters: EntryAdapters): void => {
+  const { requestId, customer, source, nextNumber } = effect;
+  const { ticket } = adapters.tickets.getTicket(requestId, customer, source);
+  adapters.responders.handOver(requestId, ticket, nextNumber);
+  adapters.tickets.remove(requestId);
+};
+
+/**
+ * Carries out one effect.
+ *
+ * @param effect - effect of a decision
+ * @param adapters - adapters of the daemon
+ */
+export const performEffect = (effect: EntryEffect, adapters: EntryAdapters): void => {
+  const { loop, events, metrics, responders, tickets, endpoints, platform } = adapters;
+  switch (effect.kind) {
+    case 'post':
+      loop().post(effect.event);
+      return;
+    case 'schedule':
+      loop().schedule(effect.delayMs, effect.event);
+      return;
+    case 'log':
+      events.record(effect.name, effect.details);
+      return;
+    case 'record-latency':
+      metrics.recordLatency(effect.name, effect.className, effect.duration);
+      return;
+    case 'reset-requests':
+      responders.failAll(LOST_REQUEST);
+      return;
+    case 'fetch-list':
+      platform.fetchList();
+      return;
+    case 'read-log':
+      platform.readLog(effect.stream, effect.from, effect.waitMs);
+      return;
+    case 'append-log':
+      platform.appendLog(effect.stream, effect.batchId, effect.records);
+      return;
+    case 'fetch-peer-configuration':
+      platform.fetchPeerConfiguration(effect.url);
+      return;
+    case 'reply-heartbeat':
+      adapters.heartbeats.replyHeartbeat(effect.heartbeatId, effect.reply);
+      return;
+    case 'open-generation':
+      endpoints.openGeneration(effect.open);
+      return;
+    case 'close-link':
+      endpoints.closeLink(effect.generationId, effect.link);
+      return;
+    case 'cancel-generation':
+      endpoints.cancelGeneration(effect.url, effect.generationId, effect.incarnation);
+      return;
+    case 'call-endpoint':
+      endpoints.callEndpoint(effect.call);
+      return;
+    case 'fence-nonce':
+      endpoints.fenceNonce(effect.question);
+      return;
+    case 'write-chunks':
+      writeChunks(effect, adapters);
+      return;
+    case 'finish-generation':
+      responders.finishGeneration(effect.requestId, effect.usage);
+      tickets.remove(effect.requestId);
+      return;
+    case 'send-answer':
+      responders.sendAnswer(effect.requestId, effect.answer);
+      return;
+    case 'fail-request':
+      responders.failRequest(effect.requestId, effect.failure);
+      tickets.remove(effect.requestId);
+      return;
+    case 'hand-over':
+      transferStream(effect, adapters);
+      return;
+    case 'reply-operator':
+      adapters.replyOperator(effect.operationId, effect.reply);
+      return;
+    case 'notify-operators':
+      adapters.notifyOperators(effect.notice);
+      return;
+    case 'end-process':
+      adapters.endProcess(effect.left);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
--- /dev/null
+++ b/packages/entry/platform/platformAdapter.ts
@@ -0,0 +1,83 @@
+import { request } from 'undici';
+import { PEER_TIMEOUT_MS, READ_LIMIT } from './constants.js';
+import type { Millis } from '../../core/clock.js';
+import type { Offset } from '../../core/ids.js';
+import type { ListClient } from '../../platform/listClient.js';
+import type { LogClient } from '../../platform/logClient.js';
+import type { EntryEvent, LogStream } from '../events.js';
+
+/** Adapter between the loop and the platform. */
+export interface PlatformAdapter {
+  readonly fetchList: () => void;
+  readonly readLog: (stream: LogStream, from: Offset, waitMs: Millis) => void;
+  readonly appendLog: (stream: LogStream, batchId: number, records: readonly unknown[]) => void;
+  readonly fetchPeerConfiguration: (url: string) => void;
+}
+
+/**
+ * Creates the adapter to the platform. Each completion is posted as an event.
+ *
+ * @param log - client of the log
+ * @param list - client of the instance list
+ * @param post - receives the completions
+ * @returns the adapter
+ */
+export const createPlatformAdapter = (
+  log: LogClient,
+  list: ListClient,
+  post: (event: EntryEvent) => void,
+): PlatformAdapter => {
+  const fetchList = async (): Promise<void> => {
+    const result = await list.read();
+    post(
+      result.isOk()
+        ? { to: 'list', kind: 'list-received', instances: result.value }
+        : { to: 'list', kind: 'list-failed', reason: result.error.message },
+    );
+  };
+
+  const readLog = async (stream: LogStream, from: Offset, waitMs: Millis): Promise<void> => {
+    const result = await log.read(stream, from, READ_LIMIT, waitMs);
+    post(
+      result.kind === 'read'
+        ? { to: stream, kind: 'read-ended', batch: result.batch }
+        : { to: stream, kind: 'read-failed', reason: result.message },
+    );
+  };
+
+  const appendLog = async (
+    stream: LogStream,
+    batchId: number,
+    records: readonly unknown[],
+  ): Promise<void> => {
+    const result = await log.append(stream, records);
+    post({
+      to: 'appends',
+      kind: 'append-ended',
+      batchId,
+      result:
+        result.kind === 'appended' ? { kind: 'appended', offset: result.firstOffset } : result,
+    });
+  };
+
+  const fetchPeer = async (url: string): Promise<void> => {
+    try {
+      const answer = await request(`${url}/peer/configuration`, {
+        signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
+      });
+      const snapshot: unknown = await answer.body.json();
+      if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode.toString()}`);
+      post({ to: 'control', kind: 'peer-answered', snapshot });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      post({ to: 'control', kind: 'peer-failed', reason });
+    }
+  };
+
+  return {
+    fetchList: () => void fetchList(),
+    readLog: (stream, from, waitMs) => void readLog(stream, from, waitMs),
+    appendLog: (stream, batchId, records) => void appendLog(stream, batchId, records),
+    fetchPeerConfiguration: (url) => void fetchPeer(url),
+  };
+};
--- /dev/null
+++ b/packages/entry/platform/supervisor.ts
@@ -0,0 +1,60 @@
+import type { AppendsState } from './appends/appends.js';
+import type { IntentsState } from './intents/intents.js';
+import type { ListState } from './list/list.js';
+import { buildRoutedChild } from '../../core/supervision/routedChild.js';
+import type { ChildLogic, SupervisorSpec } from '../../core/supervision/types.js';
+import type { AppendsEvent, EntryEffect, EntryEvent, IntentsEvent, ListEvent } from '../events.js';
+
+/** Published states of the platform node's children. */
+export interface PlatformStates {
+  list: ListState;
+  appends: AppendsState;
+  intents: IntentsState;
+}
+
+/** Decisions of the platform node's children. */
+export interface PlatformLogics {
+  readonly list: ChildLogic<ListState, ListEvent, EntryEffect>;
+  readonly appends: ChildLogic<AppendsState, AppendsEvent, EntryEffect>;
+  readonly intents: ChildLogic<IntentsState, IntentsEvent, EntryEffect>;
+}
+
+/**
+ * Describes the supervisor of what the daemon shares with the platform.
+ *
+ * @param logics - decisions of the children
+ * @param states - receives each new state
+ * @returns the supervisor's specification
+ */
+export const createPlatformSupervisor = (
+  logics: PlatformLogics,
+  states: PlatformStates,
+): SupervisorSpec<EntryEvent, EntryEffect> => ({
+  name: 'platform',
+  strategy: 'one-for-one',
+  intensity: { restarts: 5, withinMs: 60_000 },
+  children: [
+    buildRoutedChild<EntryEvent, 'list', ListState, EntryEffect>('list', {
+      rebuildsFrom: 'settings',
+      createLogic: () => logics.list,
+      publish: (state) => {
+        states.list = state;
+      },
+    }),
+    buildRoutedChild<EntryEvent, 'appends', AppendsState, EntryEffect>('appends', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.appends,
+      publish: (state) => {
+        states.appends = state;
+      },
+    }),
+    buildRoutedChild<EntryEvent, 'intents', IntentsState, EntryEffect>('intents', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.intents,
+      publish: (state) => {
+        states.intents = state;
+      },
+    }),
+  ],
+  route: (event) => event.to,
+});
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -179,10 +179,10 @@
   const appends = effect.records.map((record): EntryEffect => ({
     kind: 'post',
     event: {
-      to: 'platform',
+      to: 'appends',
       kind: 'append-requested',
       stream: 'intents',
-      records: [record],
+      record,
       owner: { kind: 'intent', requestId, of: record.kind, nonce: record.nonce },
     },
   }));
@@ -211,7 +211,7 @@
     case 'read-stream':
       return toStep<KeyedState, EntryEffect>(state, {
         kind: 'post',
-        event: { to: 'platform', kind: 'read-due', stream: 'intents' },
+        event: { to: 'intents', kind: 'read-due' },
       });
     case 'dispatch':
       return dispatch(state, effect, inputs);
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -259,7 +259,7 @@
   );
 };
 
-const handOver = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] => {
+const transferStreams = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] => {
   state.phase = 'handing-over';
   return [...state.table.values()].flatMap((known) =>
     known.kind === 'generation'
@@ -325,7 +325,7 @@
       return [...expireWaiting(state, inputs), ...drainQueue(state, inputs), again];
     }
     case 'drain-ended':
-      return handOver(state, inputs);
+      return transferStreams(state, inputs);
     default:
       return assertNever(event);
   }
--- /dev/null
+++ b/packages/entry/supervisor.ts
@@ -0,0 +1,103 @@
+import type {
+  EntryEffect,
+  EntryEvent,
+  FrontendEvent,
+  MembershipEvent,
+  RequestsEvent,
+} from './events.js';
+import type { GateState } from './frontend/gate.js';
+import type { MembershipState } from './membership/types.js';
+import { createPlatformSupervisor } from './platform/supervisor.js';
+import type { PlatformLogics, PlatformStates } from './platform/supervisor.js';
+import type { RequestsState } from './requests/types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { Clock } from '../core/clock.js';
+import { buildRoutedChild } from '../core/supervision/routedChild.js';
+import { startSupervisor } from '../core/supervision/supervisor.js';
+import type { ChildFailure, ChildLogic, SupervisorSpec } from '../core/supervision/types.js';
+
+/** Read-only views of the children's states, published after each of their steps. */
+export interface EntryStates extends PlatformStates {
+  membership: MembershipState;
+  requests: RequestsState;
+  frontend: GateState;
+}
+
+/** Decisions of each child. */
+export interface EntryLogics extends PlatformLogics {
+  readonly membership: ChildLogic<MembershipState, MembershipEvent, EntryEffect>;
+  readonly requests: ChildLogic<RequestsState, RequestsEvent, EntryEffect>;
+  readonly frontend: ChildLogic<GateState, FrontendEvent, EntryEffect>;
+}
+
+type RootChild = 'platform' | 'membership' | 'requests' | 'operator' | 'frontend';
+
+const routeEvent = (event: EntryEvent): RootChild => {
+  switch (event.to) {
+    case 'list':
+    case 'appends':
+    case 'intents':
+    case 'control':
+      return 'platform';
+    case 'membership':
+    case 'requests':
+    case 'operator':
+    case 'frontend':
+      return event.to;
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Describes the root supervisor of an entry daemon.
+ *
+ * The platform and the membership come before the requests that read them, and the frontend comes
+ * last, so that no request is let in before the rest runs.
+ *
+ * @param logics - decisions of the children
+ * @param states - receives each new state
+ * @param clock - time of restarts
+ * @param onFailure - receives failures of children at any depth
+ * @returns the supervisor's specification
+ */
+export const createEntrySupervisor = (
+  logics: EntryLogics,
+  states: EntryStates,
+  clock: Clock,
+  onFailure: (failure: ChildFailure) => void,
+): SupervisorSpec<EntryEvent, EntryEffect> => ({
+  name: 'entry',
+  strategy: 'one-for-one',
+  intensity: { restarts: 5, withinMs: 60_000 },
+  children: [
+    {
+      name: 'platform',
+      restart: 'permanent',
+      rebuildsFrom: 'log',
+      start: () => startSupervisor(createPlatformSupervisor(logics, states), clock, onFailure),
+    },
+    buildRoutedChild<EntryEvent, 'membership', MembershipState, EntryEffect>('membership', {
+      rebuildsFrom: 'heartbeats',
+      createLogic: () => logics.membership,
+      publish: (state) => {
+        states.membership = state;
+      },
+    }),
+    buildRoutedChild<EntryEvent, 'requests', RequestsState, EntryEffect>('requests', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.requests,
+      publish: (state) => {
+        states.requests = state;
+      },
+    }),
+    buildRoutedChild<EntryEvent, 'frontend', GateState, EntryEffect>('frontend', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.frontend,
+      publish: (state) => {
+        states.frontend = state;
+      },
+    }),
+  ],
+  route: routeEvent,
+});
--- /dev/null
+++ b/packages/entry/wiring.ts
@@ -0,0 +1,258 @@
+import { asFunction, asValue, createContainer } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+import type { FastifyInstance } from 'fastify';
+import { classifyEvent } from './classify.js';
+import type { EntryEffect, EntryEvent } from './events.js';
+import { createCallerServer } from './frontend/callerServer.js';
+import { HAND_OVER_MS } from './frontend/constants.js';
+import { createGateLogic } from './frontend/gate.js';
+import { createResponders } from './frontend/responders.js';
+import type { Responders } from './frontend/responders.js';
+import { createTicketIssuer } from './frontend/tickets.js';
+import type { TicketIssuer } from './frontend/tickets.js';
+import { createHeartbeatServer } from './membership/heartbeatServer.js';
+import type { HeartbeatServer } from './membership/heartbeatServer.js';
+import { createMembershipLogic, listViews } from './membership/membership.js';
+import { performEffect } from './perform.js';
+import { createAppendsLogic } from './platform/appends/appends.js';
+import { LOG_TIMEOUT_MS } from './platform/constants.js';
+import { createIntentsLogic } from './platform/intents/intents.js';
+import { createListLogic } from './platform/list/list.js';
+import { createPlatformAdapter } from './platform/platformAdapter.js';
+import type { PlatformAdapter } from './platform/platformAdapter.js';
+import { createEndpointClient } from './requests/endpointClient.js';
+import type { EndpointClient } from './requests/endpointClient.js';
+import type { RequestsInputs } from './requests/inputs.js';
+import { createRequestsLogic } from './requests/requests.js';
+import { createEntrySupervisor } from './supervisor.js';
+import type { EntryLogics, EntryStates } from './supervisor.js';
+import { createSystemClock } from '../core/clock.js';
+import type { Clock } from '../core/clock.js';
+import { createConsolaWriter } from '../core/events/consolaWriter.js';
+import { createEventLog } from '../core/events/eventLog.js';
+import type { EventLog } from '../core/events/eventLog.js';
+import { registerInspectionPages } from '../core/http/inspectionPages.js';
+import { createId } from '../core/ids.js';
+import { createMetrics } from '../core/metrics/metrics.js';
+import type { Metrics } from '../core/metrics/metrics.js';
+import { createRandomSource } from '../core/random.js';
+import { createDaemon } from '../core/supervision/daemon.js';
+import type { Daemon } from '../core/supervision/daemon.js';
+import { startSupervisor } from '../core/supervision/supervisor.js';
+import type { ChildFailure } from '../core/supervision/types.js';
+import { findChain } from '../decisions/idempotency/table.js';
+import { createOwnTable } from '../decisions/placement/own.js';
+import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
+import { createListClient } from '../platform/listClient.js';
+import { createLogClient } from '../platform/logClient.js';
+import type { EntrySettings } from '../settings/types.js';
+
+/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+export type EndReason =
+  | { readonly kind: 'drained'; readonly left: number }
+  | { readonly kind: 'fault'; readonly error: unknown };
+
+/** Everything that one entry daemon is made of. */
+export interface EntryCradle {
+  readonly settings: EntrySettings;
+  readonly onEnd: (reason: EndReason) => void;
+  readonly clock: Clock;
+  readonly incarnation: string;
+  readonly states: EntryStates;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly responders: Responders;
+  readonly tickets: TicketIssuer;
+  readonly heartbeats: HeartbeatServer;
+  readonly platform: PlatformAdapter;
+  readonly endpoints: EndpointClient;
+  readonly requestsInputs: RequestsInputs;
+  readonly logics: EntryLogics;
+  readonly callers: FastifyInstance;
+  readonly daemon: Daemon<EntryEvent>;
+}
+
+const buildEvents = ({ settings, incarnation, clock }: EntryCradle): EventLog =>
+  createEventLog({
+    process: settings.process,
+    role: 'entry',
+    incarnation,
+    clock,
+    write: createConsolaWriter(settings.log.format),
+  });
+
+const buildHeartbeats = (cradle: EntryCradle): HeartbeatServer =>
+  createHeartbeatServer((heartbeatId, heartbeat) =>
+    cradle.daemon.loop.post({
+      to: 'membership',
+      kind: 'heartbeat-received',
+      heartbeatId,
+      heartbeat,
+    }),
+  );
+
+const buildPlatform = (cradle: EntryCradle): PlatformAdapter => {
+  const { logUrl, listUrl } = cradle.settings.platform;
+  return createPlatformAdapter(
+    createLogClient({ baseUrl: logUrl, timeoutMs: LOG_TIMEOUT_MS }),
+    createListClient({ baseUrl: listUrl }),
+    (event) => {
+      cradle.daemon.loop.post(event);
+    },
+  );
+};
+
+const buildEndpoints = (cradle: EntryCradle): EndpointClient =>
+  createEndpointClient(cradle.settings.process, (completion) => {
+    cradle.daemon.loop.post({ to: 'requests', kind: 'endpoint-completed', completion });
+  });
+
+const buildRequestsInputs = (cradle: EntryCradle): RequestsInputs => {
+  const { settings, clock, states } = cradle;
+  const customers = new Map(settings.customers.map((customer) => [customer.id, customer]));
+  const survival = createSurvivalTable();
+  return {
+    now: clock.now,
+    random: createRandomSource(Number.parseInt(cradle.incarnation.slice(-8), 16) | 0),
+    createId,
+    process: settings.process,
+    dataCentre: settings.dataCentre,
+    models: settings.models,
+    policy: settings.policy,
+    limits: settings.limits,
+    getCustomerDefault: (customer) => customers.get(customer)?.defaultClass,
+    getClasses: () => new Map(),
+    listEndpoints: () => listViews(states.membership, clock.now()),
+    findUrl: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report.rpcUrl,
+    findChain: (customer, key) => findChain(states.intents.table, customer, key),
+    getIntentLog: () => {
+      const { table, log } = states.intents;
+      const { standing, nextOffset, untimedKeys } = table;
+      return { log, standing, nextOffset, untimedKeys };
+    },
+    own: createOwnTable(survival),
+    survival,
+  };
+};
+
+const buildLogics = (cradle: EntryCradle): EntryLogics => {
+  const { settings, clock, states, requestsInputs } = cradle;
+  const { now } = clock;
+  return {
+    list: createListLogic(settings.instance),
+    appends: createAppendsLogic(now),
+    intents: createIntentsLogic({ now, keys: settings.limits }),
+    membership: createMembershipLogic({
+      now,
+      getDelta: () => ({ watermark: 0, records: [], snapshot: null }),
+    }),
+    requests: createRequestsLogic(requestsInputs),
+    frontend: createGateLogic({
+      now,
+      drainMs: settings.drainMs,
+      handOverMs: HAND_OVER_MS,
+      countOpen: () => states.requests.table.size,
+    }),
+  };
+};
+
+const getUnreadyReason = (states: EntryStates): string | null => {
+  if (states.frontend.phase !== 'accepting') return 'draining';
+  if (states.list.list === 'unread') return 'the instance list was not read yet';
+  return states.membership.views.size === 0 ? 'no endpoint is known' : null;
+};
+
+const buildCallers = (cradle: EntryCradle): FastifyInstance => {
+  const { settings, clock, responders, states } = cradle;
+  const server = createCallerServer({
+    settings,
+    clock,
+    responders,
+    postRequest: (request) =>
+      cradle.daemon.loop.post({ to: 'frontend', kind: 'request-arrived', request }),
+    postCallerGone: (requestId) => {
+      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', requestId });
+    },
+    listModels: () => settings.models,
+  });
+  registerInspectionPages(server, {
+    process: settings.process,
+    role: 'entry',
+    incarnation: cradle.incarnation,
+    events: cradle.events,
+    metrics: cradle.metrics,
+    getUnreadyReason: () => getUnreadyReason(states),
+  });
+  return server;
+};
+
+const buildDaemon = (cradle: EntryCradle): Daemon<EntryEvent> => {
+  const { clock, events, states, metrics, responders, tickets } = cradle;
+  const adapters = {
+    loop: () => daemon.loop,
+    events,
+    metrics,
+    responders,
+    tickets,
+    heartbeats: cradle.heartbeats,
+    platform: cradle.platform,
+    endpoints: cradle.endpoints,
+    replyOperator: () => undefined,
+    notifyOperators: () => undefined,
+    endProcess: (left: number) => {
+      cradle.onEnd({ kind: 'drained', left });
+    },
+  };
+  const onFailure = ({ child, rebuildsFrom, error }: ChildFailure): void => {
+    events.record('child-failed', { data: { child, rebuildsFrom, error: String(error) } });
+  };
+  const spec = createEntrySupervisor(cradle.logics, states, clock, onFailure);
+  const daemon = createDaemon<EntryEvent, EntryEffect>({
+    classify: classifyEvent,
+    startRoot: () => startSupervisor(spec, clock, onFailure),
+    perform: (effect) => {
+      performEffect(effect, adapters);
+    },
+    onFault: (error) => {
+      events.record('daemon-fault', { data: { error: String(error) } });
+      cradle.onEnd({ kind: 'fault', error });
+    },
+  });
+  return daemon;
+};
+
+/**
+ * Wires the parts of an entry daemon.
+ *
+ * @param settings - checked settings
+ * @param onEnd - called when the daemon wants its process to end
+ * @returns the container
+ */
+export const wireEntryDaemon = (
+  settings: EntrySettings,
+  onEnd: (reason: EndReason) => void,
+): AwilixContainer<EntryCradle> => {
+  const container = createContainer<EntryCradle>({ injectionMode: 'PROXY', strict: true });
+  container.register({
+    settings: asValue(settings),
+    onEnd: asValue(onEnd),
+    clock: asFunction(createSystemClock).singleton(),
+    incarnation: asFunction(createId).singleton(),
+    // Each child publishes its state before anything reads it: they start in the declared order.
+    states: asValue({} as EntryStates),
+    events: asFunction(buildEvents).singleton(),
+    metrics: asFunction(createMetrics).singleton(),
+    responders: asFunction(createResponders).singleton(),
+    tickets: asFunction(({ clock }: EntryCradle) =>
+      createTicketIssuer(settings.ticketKey, clock),
+    ).singleton(),
+    heartbeats: asFunction(buildHeartbeats).singleton(),
+    platform: asFunction(buildPlatform).singleton(),
+    endpoints: asFunction(buildEndpoints).singleton(),
+    requestsInputs: asFunction(buildRequestsInputs).singleton(),
+    logics: asFunction(buildLogics).singleton(),
+    callers: asFunction(buildCallers).singleton(),
+    daemon: asFunction(buildDaemon).singleton(),
+  });
+  return container;
+};
--- a/packages/standins/engine/supervisor.ts
+++ b/packages/standins/engine/supervisor.ts
@@ -3,7 +3,7 @@
 import { createSchedulerChild } from './scheduler/schedulerChild.js';
 import type { SchedulerEnvironment, SchedulerState } from './scheduler/types.js';
 import type { EngineEffect, EngineEvent, EngineSettings } from './types.js';
-import { buildRoutedChild } from '../common/routedChild.js';
+import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { View } from '../common/view.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
 
@@ -26,10 +26,14 @@
   environment: SchedulerEnvironment,
   views: EngineViews,
 ): readonly ChildSpec<EngineEvent, EngineEffect>[] => [
-  buildRoutedChild(
-    'scheduler',
-    () => createSchedulerChild(settings, environment),
-    views.scheduler.publish,
-  ),
-  buildRoutedChild('control', () => createControlChild(settings), views.control.publish),
+  buildRoutedChild('scheduler', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createSchedulerChild(settings, environment),
+    publish: views.scheduler.publish,
+  }),
+  buildRoutedChild('control', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createControlChild(settings),
+    publish: views.control.publish,
+  }),
 ];
--- a/packages/standins/ledger/supervisor.ts
+++ b/packages/standins/ledger/supervisor.ts
@@ -1,7 +1,7 @@
 import { createBookChild } from './book/bookChild.js';
 import type { BookEnvironment, BookState } from './book/bookChild.js';
 import type { LedgerEffect, LedgerEvent } from './types.js';
-import { buildRoutedChild } from '../common/routedChild.js';
+import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
 
 /**
@@ -15,5 +15,9 @@
   environment: BookEnvironment,
   publish: (state: BookState) => void,
 ): readonly ChildSpec<LedgerEvent, LedgerEffect>[] => [
-  buildRoutedChild('book', () => createBookChild(environment), publish),
+  buildRoutedChild('book', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createBookChild(environment),
+    publish,
+  }),
 ];
--- a/packages/standins/platform/supervisor.ts
+++ b/packages/standins/platform/supervisor.ts
@@ -2,7 +2,7 @@
 import { createLogChild } from './log/logChild.js';
 import type { PlatformEffect, PlatformEvent, PlatformSettings } from './types.js';
 import { createWeightsChild } from './weights/weightsChild.js';
-import { buildRoutedChild } from '../common/routedChild.js';
+import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { Clock } from '../../core/clock.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
 
@@ -17,7 +17,16 @@
   settings: PlatformSettings,
   clock: Clock,
 ): readonly ChildSpec<PlatformEvent, PlatformEffect>[] => [
-  buildRoutedChild('log', () => createLogChild(settings, clock)),
-  buildRoutedChild('instances', () => createInstancesChild(settings.listLagMs, clock)),
-  buildRoutedChild('weights', () => createWeightsChild(settings, clock)),
+  buildRoutedChild('log', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createLogChild(settings, clock),
+  }),
+  buildRoutedChild('instances', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createInstancesChild(settings.listLagMs, clock),
+  }),
+  buildRoutedChild('weights', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createWeightsChild(settings, clock),
+  }),
 ];
