Add the load library: scenarios, open-loop arrivals, checks and plots

A run fixes all arrivals in advance and measures from the intended time, so slow service does not thin out the load. Each answer is checked token by token and each non-repeatable call against the executions at the services. The engine stand-in counts starts by version for the plot of version shares.

--- /dev/null
+++ b/packages/load/arrivals/lengths.ts
@@ -0,0 +1,36 @@
+import type { Lengths } from '../scenario/types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { RandomSource } from '../../core/random.js';
+
+const toTokens = (value: number, min: number, max: number): number =>
+  Math.round(Math.min(max, Math.max(min, value)));
+
+/** Draws from the standard normal distribution by the Box-Muller transform. */
+const sampleNormal = (random: RandomSource): number =>
+  Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+
+/**
+ * Draws a length.
+ *
+ * @param lengths - distribution
+ * @param random - source of chance
+ * @returns tokens
+ */
+export const sampleLength = (lengths: Lengths, random: RandomSource): number => {
+  switch (lengths.kind) {
+    case 'constant':
+      return lengths.tokens;
+    case 'uniform':
+      return lengths.min + Math.floor(random.next() * (lengths.max - lengths.min + 1));
+    case 'log-normal': {
+      const { median, sigma, min, max } = lengths;
+      return toTokens(median * Math.exp(sigma * sampleNormal(random)), min, max);
+    }
+    case 'pareto': {
+      const { min, shape, max } = lengths;
+      return toTokens(min / Math.pow(1 - random.next(), 1 / shape), min, max);
+    }
+    default:
+      return assertNever(lengths);
+  }
+};
--- /dev/null
+++ b/packages/load/client/requestText.ts
@@ -0,0 +1,80 @@
+import type { Arrival } from '../arrivals/types.js';
+import { CHARACTERS_PER_TOKEN, PREFIX_CHARACTERS } from '../../standins/engine/constants.js';
+import { assertNever } from '../../core/assertNever.js';
+
+/** HTTP request of one arrival. */
+export interface RequestText {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body: string | undefined;
+}
+
+type GenerationArrival = Extract<Arrival['work'], { kind: 'generation' }>;
+
+const FILLER = 'The ledger of the day follows. ';
+
+/**
+ * Renders a prompt of a wanted length whose first part is the same for all requests with one
+ * prefix number.
+ *
+ * @param className - class of the request
+ * @param work - prefix number and length
+ * @param number - number of the arrival, which makes the rest of the prompt its own
+ * @returns the prompt
+ */
+export const renderPrompt = (
+  className: string,
+  work: GenerationArrival,
+  number: number,
+): string => {
+  const length = work.promptTokens * CHARACTERS_PER_TOKEN;
+  const prefix = `${className} ${work.prefix.toString()} `
+    .concat(FILLER.repeat(PREFIX_CHARACTERS / FILLER.length + 1))
+    .slice(0, PREFIX_CHARACTERS);
+  const own = ` ${number.toString()} `;
+  return `${prefix}${own}${FILLER.repeat(length / FILLER.length + 1)}`.slice(0, length);
+};
+
+const renderGeneration = (arrival: Arrival, work: GenerationArrival): RequestText => ({
+  method: 'POST',
+  path: '/v1/chat/completions',
+  body: JSON.stringify({
+    model: work.model,
+    messages: [{ role: 'user', content: renderPrompt(arrival.className, work, arrival.number) }],
+    stream: work.delivery === 'stream',
+    metadata: {
+      target_tokens: work.outputTokens.toString(),
+      class: arrival.className,
+      ...(work.route === undefined ? {} : { route: work.route }),
+    },
+  }),
+});
+
+/**
+ * Renders the HTTP request of an arrival.
+ *
+ * @param arrival - what to ask for
+ * @param key - idempotency key of calls with an effect
+ * @returns method, path and body
+ */
+export const renderRequest = (arrival: Arrival, key: string): RequestText => {
+  const { work } = arrival;
+  switch (work.kind) {
+    case 'generation':
+      return renderGeneration(arrival, work);
+    case 'lookup':
+      return {
+        method: 'GET',
+        path: `/services/${work.service}/balances/${work.account}`,
+        body: undefined,
+      };
+    case 'execution':
+      return {
+        method: 'POST',
+        path: `/services/${work.service}/${work.route}`,
+        body: JSON.stringify({ key, amount: work.amount }),
+      };
+    default:
+      return assertNever(work);
+  }
+};
--- /dev/null
+++ b/packages/load/requests/measures.ts
@@ -0,0 +1,115 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { MAX_MEASURED_MS } from '../constants.js';
+import type { Millis } from '../../core/clock.js';
+import type { ClassName } from '../../core/ids.js';
+
+/** Figures of one histogram, in milliseconds. */
+export interface Percentiles {
+  readonly count: number;
+  readonly mean: Millis;
+  readonly p50: Millis;
+  readonly p95: Millis;
+  readonly p99: Millis;
+  readonly p999: Millis;
+  readonly max: Millis;
+}
+
+/** What is measured of each class. */
+export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
+
+/** Sums of one class. */
+export interface StallSums {
+  readonly stalls: number;
+  readonly stallMs: Millis;
+  readonly tokens: number;
+}
+
+/**
+ * Histograms and sums by class. A run records millions of gaps, so they are updated in place and
+ * owned by the requests child alone.
+ */
+export interface Measures {
+  readonly record: (className: ClassName, name: MeasureName, ms: Millis) => void;
+  readonly addToken: (className: ClassName) => void;
+  readonly addStall: (className: ClassName, ms: Millis) => void;
+  readonly getPercentiles: (className: ClassName, name: MeasureName) => Percentiles;
+  readonly getSums: (className: ClassName) => StallSums;
+}
+
+const MICROS_PER_MILLI = 1_000;
+
+const EMPTY_PERCENTILES: Percentiles = {
+  count: 0,
+  mean: 0,
+  p50: 0,
+  p95: 0,
+  p99: 0,
+  p999: 0,
+  max: 0,
+};
+
+const createHistogram = (): Histogram =>
+  build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_MEASURED_MS * MICROS_PER_MILLI,
+    numberOfSignificantValueDigits: 3,
+    bitBucketSize: 32,
+    autoResize: false,
+    useWebAssembly: false,
+  });
+
+const toPercentiles = (histogram: Histogram): Percentiles => {
+  const read = (percentile: number): Millis =>
+    histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  return {
+    count: histogram.totalCount,
+    mean: histogram.mean / MICROS_PER_MILLI,
+    p50: read(50),
+    p95: read(95),
+    p99: read(99),
+    p999: read(99.9),
+    max: histogram.maxValue / MICROS_PER_MILLI,
+  };
+};
+
+/**
+ * Creates empty measures.
+ *
+ * @returns the measures
+ */
+export const createMeasures = (): Measures => {
+  const histograms = new Map<string, Histogram>();
+  const sums = new Map<ClassName, StallSums>();
+
+  const openHistogram = (key: string): Histogram => {
+    const known = histograms.get(key);
+    if (known !== undefined) return known;
+    const created = createHistogram();
+    histograms.set(key, created);
+    return created;
+  };
+
+  const getSums = (className: ClassName): StallSums =>
+    sums.get(className) ?? { stalls: 0, stallMs: 0, tokens: 0 };
+
+  return {
+    record: (className, name, ms) => {
+      const bounded = Math.min(MAX_MEASURED_MS, Math.max(0, ms));
+      openHistogram(`${className} ${name}`).recordValue(Math.round(bounded * MICROS_PER_MILLI));
+    },
+    addToken: (className) => {
+      const { stalls, stallMs, tokens } = getSums(className);
+      sums.set(className, { stalls, stallMs, tokens: tokens + 1 });
+    },
+    addStall: (className, ms) => {
+      const { stalls, stallMs, tokens } = getSums(className);
+      sums.set(className, { stalls: stalls + 1, stallMs: stallMs + ms, tokens });
+    },
+    getPercentiles: (className, name) => {
+      const histogram = histograms.get(`${className} ${name}`);
+      return histogram === undefined ? EMPTY_PERCENTILES : toPercentiles(histogram);
+    },
+    getSums,
+  };
+};
--- /dev/null
+++ b/packages/load/results/buildResult.ts
@@ -0,0 +1,102 @@
+import { computeVersionShares, countOutcomes, findNewestCounters, foldEngines } from './series.js';
+import type { ClassResult, RunResult } from './types.js';
+import type { RequestRecord, RequestsState, Violation } from '../requests/types.js';
+import type { SamplesState } from '../samples/samplesChild.js';
+import type { LoadClass, LoadPolicy, Scenario } from '../scenario/types.js';
+import type { Millis } from '../../core/clock.js';
+
+/** Everything that a run has collected. */
+export interface RunRecords {
+  readonly scenario: Scenario;
+  readonly run: string;
+  readonly policy: LoadPolicy;
+  readonly startedAt: Millis;
+  readonly durationMs: Millis;
+  readonly requests: RequestsState;
+  readonly samples: SamplesState;
+  /** Broken promises that the stand-ins' own counts show. */
+  readonly violations: readonly Violation[];
+}
+
+const countFailures = (records: readonly RequestRecord[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  for (const { outcome } of records) {
+    if (outcome.kind !== 'failed') continue;
+    const key = `${outcome.verdict}/${outcome.code}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+};
+
+const buildClass = (
+  loadClass: LoadClass,
+  records: readonly RequestRecord[],
+  { measures }: RequestsState,
+): ClassResult => {
+  const { name, kind } = loadClass;
+  const count = (wanted: RequestRecord['outcome']['kind']): number =>
+    records.filter(({ outcome }) => outcome.kind === wanted).length;
+  const again = records.flatMap(({ calledAgain }) => calledAgain);
+  return {
+    className: name,
+    kind,
+    offered: records.length,
+    finished: count('finished'),
+    failures: countFailures(records),
+    noAnswer: count('no-answer'),
+    unfinished: count('unfinished') + count('open'),
+    resumed: again.filter((how) => how === 'resumed').length,
+    sentAgain: again.filter((how) => how === 'sent-again').length,
+    firstToken: measures.getPercentiles(name, 'first-token'),
+    tokenGap: measures.getPercentiles(name, 'token-gap'),
+    wholeAnswer: measures.getPercentiles(name, 'whole-answer'),
+    sendDelay: measures.getPercentiles(name, 'send-delay'),
+    ...measures.getSums(name),
+  };
+};
+
+const computeMean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+
+/**
+ * Builds the result of a run.
+ *
+ * @param records - requests, samples and broken promises
+ * @returns the result, ready for JSON
+ */
+export const buildResult = (records: RunRecords): RunResult => {
+  const { scenario, requests, samples } = records;
+  const all = [...requests.table.values()];
+  const measured = all.filter(({ arrival }) => arrival.atMs >= scenario.settleMs);
+  const engines = findNewestCounters(samples.samples);
+  const points = foldEngines(samples.samples);
+  const steady = points.filter(
+    ({ atMs }) => atMs >= scenario.settleMs && atMs <= scenario.durationMs,
+  );
+  return {
+    scenario: scenario.name,
+    run: records.run,
+    seed: scenario.seed,
+    policy: records.policy,
+    startedAt: new Date(records.startedAt).toISOString(),
+    durationMs: records.durationMs,
+    classes: scenario.classes.map((loadClass) =>
+      buildClass(
+        loadClass,
+        measured.filter(({ arrival }) => arrival.className === loadClass.name),
+        requests,
+      ),
+    ),
+    engines,
+    preemptions: engines.reduce((sum, { preemptions }) => sum + preemptions, 0),
+    overloadedWhileCold: engines.reduce((sum, engine) => sum + engine.overloadedWhileCold, 0),
+    meanMemoryShare: computeMean(steady.map(({ memoryShare }) => memoryShare)),
+    violations: [...requests.violations, ...records.violations],
+    actions: samples.actions,
+    series: {
+      outcomes: countOutcomes(all),
+      versions: computeVersionShares(samples.samples),
+      engines: points,
+    },
+  };
+};
--- /dev/null
+++ b/packages/load/samples/samplesChild.ts
@@ -0,0 +1,62 @@
+import type { ActedAction, Sample } from './types.js';
+import { SAMPLE_MS } from '../constants.js';
+import type { LoadEffect, SamplesEvent } from '../types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Step } from '../../core/step.js';
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+
+/** Counters of the engines over the run, and the actions between them. */
+export interface SamplesState {
+  readonly samples: readonly Sample[];
+  readonly actions: readonly ActedAction[];
+}
+
+const SAMPLE_AGAIN: LoadEffect = {
+  kind: 'schedule',
+  delayMs: SAMPLE_MS,
+  event: { to: 'samples', kind: 'sample-due' },
+};
+
+/**
+ * Decides one event of the samples.
+ *
+ * @param state - samples so far
+ * @param event - timer, counters or action
+ * @returns the next state and the next sample to take
+ */
+export const decideSamples = (
+  state: SamplesState,
+  event: SamplesEvent,
+): Step<SamplesState, LoadEffect> => {
+  switch (event.kind) {
+    case 'sample-due':
+      return toStep(state, { kind: 'sample' }, SAMPLE_AGAIN);
+    case 'sampled': {
+      const { at, counters } = event;
+      return toStep({ ...state, samples: [...state.samples, { at, counters }] });
+    }
+    case 'acted': {
+      const { at, scheduled, error } = event;
+      const acted = { at, action: JSON.stringify(scheduled.action), error };
+      return toStep({ ...state, actions: [...state.actions, acted] });
+    }
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the child that collects the engines' counters.
+ *
+ * @returns the decisions of the child
+ */
+export const createSamplesChild = (): ChildLogic<SamplesState, SamplesEvent, LoadEffect> => ({
+  init: () =>
+    toStep<SamplesState, LoadEffect>(
+      { samples: [], actions: [] },
+      { kind: 'sample' },
+      SAMPLE_AGAIN,
+    ),
+  decide: decideSamples,
+});
--- /dev/null
+++ b/packages/load/samples/verifyExecutions.ts
@@ -0,0 +1,66 @@
+import type { Dispatcher } from 'undici';
+import { fetchEngineRuns, fetchExecutions } from './fetchPages.js';
+import { renderRequestId } from '../client/identity.js';
+import { INSPECTION_CONCURRENCY } from '../constants.js';
+import { checkExecutions, checkRefusedGeneration } from '../requests/executionCheck.js';
+import type { RequestRecord, Violation } from '../requests/types.js';
+import type { Cluster } from '../types.js';
+
+type Decision = ReturnType<typeof checkExecutions>;
+
+const toViolations = (
+  record: RequestRecord,
+  requestId: string,
+  count: number,
+  decision: Decision,
+): readonly Violation[] => {
+  if (decision === 'kept') return [];
+  const { className } = record.arrival;
+  const detail = `${count.toString()} executions after ${JSON.stringify(record.outcome)}`;
+  return [{ kind: decision, requestId, className, detail }];
+};
+
+/** Works through items a few at a time, so that inspection does not load the stand-ins. */
+const collectInTurn = async <Item, Result>(
+  items: readonly Item[],
+  work: (item: Item) => Promise<readonly Result[]>,
+): Promise<readonly Result[]> => {
+  const results: Result[] = [];
+  for (let from = 0; from < items.length; from += INSPECTION_CONCURRENCY) {
+    const batch = items.slice(from, from + INSPECTION_CONCURRENCY);
+    for (const found of await Promise.all(batch.map(work))) results.push(...found);
+  }
+  return results;
+};
+
+/**
+ * Compares what callers were told with what the stand-ins ran.
+ *
+ * @param run - id of the run
+ * @param records - requests and their outcomes
+ * @param cluster - addresses of the stand-ins
+ * @param dispatcher - connections
+ * @returns the broken promises
+ */
+export const verifyExecutions = async (
+  run: string,
+  records: readonly RequestRecord[],
+  cluster: Pick<Cluster, 'engineUrls' | 'ledgerUrls'>,
+  dispatcher: Dispatcher,
+): Promise<readonly Violation[]> => {
+  const inspectionUrls = Object.values(cluster.ledgerUrls).map((urls) => urls.inspectionUrl);
+  const keyed = records.filter(({ arrival }) => arrival.work.kind === 'execution');
+  const generations = records.filter(({ arrival }) => arrival.work.kind === 'generation');
+  const executions = await collectInTurn(keyed, async (record) => {
+    const requestId = renderRequestId(run, record.arrival.number);
+    const count = await fetchExecutions(inspectionUrls, requestId, dispatcher);
+    return toViolations(record, requestId, count, checkExecutions(record, count));
+  });
+  const runs = await fetchEngineRuns(cluster.engineUrls, dispatcher);
+  const refused = generations.flatMap((record) => {
+    const requestId = renderRequestId(run, record.arrival.number);
+    const count = runs.get(requestId) ?? 0;
+    return toViolations(record, requestId, count, checkRefusedGeneration(record, count));
+  });
+  return [...executions, ...refused];
+};
--- /dev/null
+++ b/packages/load/supervisor.ts
@@ -0,0 +1,41 @@
+import { createRequestsChild } from './requests/requestsChild.js';
+import type { RequestsState } from './requests/types.js';
+import { createSamplesChild } from './samples/samplesChild.js';
+import type { SamplesState } from './samples/samplesChild.js';
+import type { Scenario } from './scenario/types.js';
+import { createTimetableChild } from './timetable/timetableChild.js';
+import type { Timetable } from './timetable/timetableChild.js';
+import type { LoadEffect, LoadEvent } from './types.js';
+import { buildRoutedChild } from '../standins/common/routedChild.js';
+import type { View } from '../standins/common/view.js';
+import type { Millis } from '../core/clock.js';
+import type { ChildSpec } from '../core/supervision/types.js';
+
+/** States from which the result is built. */
+export interface LoadViews {
+  readonly requests: View<RequestsState>;
+  readonly samples: View<SamplesState>;
+}
+
+/**
+ * Lists the children of the load generator: requests, samples and the timetable, which starts last
+ * because it sends at once.
+ *
+ * @param scenario - classes and measured time
+ * @param run - id of the run
+ * @param timetable - arrivals and scheduled actions
+ * @param now - time since the start of the run
+ * @param views - receivers of the published states
+ * @returns the children in start order
+ */
+export const listLoadChildren = (
+  scenario: Scenario,
+  run: string,
+  timetable: Timetable,
+  now: () => Millis,
+  views: LoadViews,
+): readonly ChildSpec<LoadEvent, LoadEffect>[] => [
+  buildRoutedChild('requests', () => createRequestsChild(scenario, run), views.requests.publish),
+  buildRoutedChild('samples', createSamplesChild, views.samples.publish),
+  buildRoutedChild('timetable', () => createTimetableChild(timetable, now)),
+];
--- /dev/null
+++ b/packages/load/timetable/timetableChild.ts
@@ -0,0 +1,90 @@
+import type { Arrival } from '../arrivals/types.js';
+import type { Scheduled } from '../scenario/types.js';
+import type { LoadEffect, TimetableEvent } from '../types.js';
+import type { Millis } from '../../core/clock.js';
+import type { Step } from '../../core/step.js';
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+
+/** Everything that happens at fixed times of the run. */
+export interface Timetable {
+  /** In order of time. */
+  readonly arrivals: readonly Arrival[];
+  readonly schedule: readonly Scheduled[];
+  readonly durationMs: Millis;
+  readonly drainMs: Millis;
+}
+
+/** Position in the timetable. */
+export interface TimetableState {
+  readonly nextArrival: number;
+  readonly nextScheduled: number;
+}
+
+const findEnd = <Item extends { readonly atMs: Millis }>(
+  items: readonly Item[],
+  from: number,
+  now: Millis,
+): number => {
+  let end = from;
+  while (end < items.length && (items[end] as Item).atMs <= now) end += 1;
+  return end;
+};
+
+const listEndEffects = (drainMs: Millis): readonly LoadEffect[] => [
+  { kind: 'schedule', delayMs: 0, event: { to: 'requests', kind: 'arrivals-over' } },
+  { kind: 'schedule', delayMs: drainMs, event: { to: 'requests', kind: 'drain-over' } },
+];
+
+/**
+ * Decides what is due.
+ *
+ * @param state - position in the timetable
+ * @param timetable - arrivals and scheduled actions
+ * @param now - time since the start of the run
+ * @returns the next position, what to send and do, and the next tick or the end
+ */
+export const decideTimetable = (
+  state: TimetableState,
+  timetable: Timetable,
+  now: Millis,
+): Step<TimetableState, LoadEffect> => {
+  const { arrivals, schedule, durationMs, drainMs } = timetable;
+  const nextArrival = findEnd(arrivals, state.nextArrival, now);
+  const nextScheduled = findEnd(schedule, state.nextScheduled, now);
+  const due: readonly LoadEffect[] = [
+    ...schedule
+      .slice(state.nextScheduled, nextScheduled)
+      .map((scheduled) => ({ kind: 'act', scheduled }) as const),
+    ...arrivals
+      .slice(state.nextArrival, nextArrival)
+      .map((arrival) => ({ kind: 'send', arrival }) as const),
+  ];
+  const next = { nextArrival, nextScheduled };
+  if (now >= durationMs) return toStep(next, ...due, ...listEndEffects(drainMs));
+  const tickAt = Math.min(
+    durationMs,
+    arrivals[nextArrival]?.atMs ?? durationMs,
+    schedule[nextScheduled]?.atMs ?? durationMs,
+  );
+  return toStep(next, ...due, {
+    kind: 'schedule',
+    delayMs: tickAt - now,
+    event: { to: 'timetable', kind: 'tick' },
+  });
+};
+
+/**
+ * Creates the child that sends arrivals at their intended times.
+ *
+ * @param timetable - arrivals and scheduled actions
+ * @param now - time since the start of the run
+ * @returns the decisions of the child
+ */
+export const createTimetableChild = (
+  timetable: Timetable,
+  now: () => Millis,
+): ChildLogic<TimetableState, TimetableEvent, LoadEffect> => ({
+  init: () => decideTimetable({ nextArrival: 0, nextScheduled: 0 }, timetable, now()),
+  decide: (state) => decideTimetable(state, timetable, now()),
+});
--- a/packages/standins/common/routedChild.ts
+++ b/packages/standins/common/routedChild.ts
@@ -7,7 +7,7 @@
 }
 
 /**
- * Builds a permanent child of a stand-in that handles a part of its tree's events.
+ * Builds a permanent child that handles a part of its tree's events.
  *
  * @param name - name that the events carry in their field `to`
  * @param createLogic - creates the decisions of the child, with a fresh state
--- a/packages/standins/common/daemon.ts
+++ b/packages/standins/common/routedDaemon.ts
@@ -27,14 +27,14 @@
   readonly loop: Loop<Event>;
 }
 
-/** Tree and loop of a stand-in, before its listeners open. */
-export interface StandinDaemon<Event> {
+/** Tree and loop of a tool, before its listeners open. */
+export interface RoutedDaemon<Event> {
   readonly post: (event: Event) => void;
   readonly start: () => void;
   readonly stop: () => void;
 }
 
-export interface StandinDaemonOptions<Event extends { readonly to: string }, Effect> {
+export interface RoutedDaemonOptions<Event extends { readonly to: string }, Effect> {
   readonly name: string;
   readonly clock: Clock;
   readonly children: readonly ChildSpec<Event, Effect>[];
@@ -76,9 +76,9 @@
   throw error;
 };
 
-/** A failed child of a stand-in is a defect of the stand-in, so it ends the process. */
+/** A failed child is a defect of the tool, so it ends the process. */
 const startRoot = <Event extends { readonly to: string }, Effect>(
-  options: StandinDaemonOptions<Event, Effect>,
+  options: RoutedDaemonOptions<Event, Effect>,
 ): RunningChild<Event, Effect> =>
   startSupervisor<Event, Effect>(
     {
@@ -93,14 +93,14 @@
   );
 
 /**
- * Creates the loop and the supervisor tree of a stand-in.
+ * Creates the loop and the supervisor tree of a tool, such as a stand-in or the load generator.
  *
  * @param options - children and adapters
  * @returns the daemon, not yet started
  */
-export const createStandinDaemon = <Event extends { readonly to: string }, Effect>(
-  options: StandinDaemonOptions<Event, Effect>,
-): StandinDaemon<Event> => {
+export const createRoutedDaemon = <Event extends { readonly to: string }, Effect>(
+  options: RoutedDaemonOptions<Event, Effect>,
+): RoutedDaemon<Event> => {
   const daemon = createDaemon<Event, Effect>({
     classify: () => 'control',
     startRoot: () => startRoot(options),
@@ -127,7 +127,7 @@
  * @returns the running stand-in
  */
 export const startStandin = async <Event>(
-  daemon: StandinDaemon<Event>,
+  daemon: RoutedDaemon<Event>,
   listener: Listener,
   port: number,
 ): Promise<Standin> => {
--- a/packages/standins/engine/pages.ts
+++ b/packages/standins/engine/pages.ts
@@ -1,5 +1,6 @@
 import type { FastifyInstance } from 'fastify';
 import { Gauge, Registry } from 'prom-client';
+import { countUsedTokens } from './scheduler/batch.js';
 import { readCacheEvents } from './scheduler/cacheLog.js';
 import { computeHealth, computeLoad } from './scheduler/load.js';
 import type { SchedulerState } from './scheduler/types.js';
@@ -73,16 +74,21 @@
     const { cacheLog, settings } = views.scheduler.get();
     return readCacheEvents(cacheLog, from, settings.cacheEventLagMs, clock.now());
   });
-  app.get('/standin/stats', async () => {
-    const { stats, counts, startId, batch } = views.scheduler.get();
-    const { running, waiting } = batch;
+  const buildCounters = (): object => {
+    const { stats, startId, batch, settings } = views.scheduler.get();
     return {
       ...stats,
       startId,
-      running: running.length,
-      waiting: waiting.length,
-      control: views.control.get(),
-      requests: counts.list(),
+      running: batch.running.length,
+      waiting: batch.waiting.length,
+      memoryShare: countUsedTokens(batch.running) / settings.memoryTokens,
     };
-  });
+  };
+  // The same without the counts by request id, for readers that ask often.
+  app.get('/standin/counters', async () => buildCounters());
+  app.get('/standin/stats', async () => ({
+    ...buildCounters(),
+    control: views.control.get(),
+    requests: views.scheduler.get().counts.list(),
+  }));
 };
--- a/packages/standins/engine/prompts.ts
+++ b/packages/standins/engine/prompts.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { CHARACTERS_PER_TOKEN, PREFIX_CHARACTERS } from './constants.js';
-import { createRandomSource } from '../../core/random.js';
+import { createSeededSource } from '../common/seededSource.js';
 
 /** Part of a message's content; parts that are not text count as nothing. */
 export interface ContentPart {
@@ -57,8 +57,7 @@
  * @returns tokens, at least one; the same for the same prompt and seed
  */
 export const computeOutputTokens = (prompt: string, seed: number, meanTokens: number): number => {
-  const digest = createHash('sha256').update(`${seed.toString()}:${prompt}`).digest();
-  const share = createRandomSource(digest.readInt32BE(0)).next();
+  const share = createSeededSource(seed, prompt).next();
   return Math.max(1, Math.round(-Math.log(1 - share) * meanTokens));
 };
 
--- a/packages/standins/engine/scheduler/schedulerChild.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.ts
@@ -5,7 +5,7 @@
 import { addStats, initScheduler } from './state.js';
 import type { SchedulerStep } from './state.js';
 import { handleStepDue, startStep } from './stepping.js';
-import type { SchedulerEnvironment, SchedulerState } from './types.js';
+import type { SchedulerEnvironment, SchedulerState, SchedulerStats } from './types.js';
 import { decideFault } from '../faults.js';
 import type {
   EngineEffect,
@@ -58,6 +58,14 @@
   return addStats(collapsed, { overloadedWhileCold: overloadedWhileCold + 1 });
 };
 
+const countStart = ({ stats, version }: SchedulerState): Partial<SchedulerStats> => ({
+  started: stats.started + 1,
+  startedByVersion: {
+    ...stats.startedByVersion,
+    [version]: (stats.startedByVersion[version] ?? 0) + 1,
+  },
+});
+
 const startSubmission = (
   state: SchedulerState,
   submission: Submission,
@@ -65,10 +73,7 @@
 ): SchedulerStep => {
   state.counts.add(submission.requestId);
   const batch = addWaiting(state.batch, toSequence(state, submission));
-  const started = addStats(
-    { ...state, batch, arrivals: state.arrivals + 1 },
-    { started: state.stats.started + 1 },
-  );
+  const started = addStats({ ...state, batch, arrivals: state.arrivals + 1 }, countStart(state));
   const next = checkBearing(started, environment.now());
   return next.phase.kind === 'idle' ? startStep(next, environment) : toStep(next);
 };
--- a/packages/standins/engine/scheduler/state.ts
+++ b/packages/standins/engine/scheduler/state.ts
@@ -14,6 +14,7 @@
 
 const EMPTY_STATS: SchedulerStats = {
   started: 0,
+  startedByVersion: {},
   finished: 0,
   cancelled: 0,
   refused: 0,
--- a/packages/standins/engine/scheduler/types.ts
+++ b/packages/standins/engine/scheduler/types.ts
@@ -16,6 +16,7 @@
 /** Counts since the stand-in started; restarts of the engine keep them. */
 export interface SchedulerStats {
   readonly started: number;
+  readonly startedByVersion: Readonly<Record<string, number>>;
   readonly finished: number;
   readonly cancelled: number;
   readonly refused: number;
--- a/packages/standins/engine/schemas.ts
+++ b/packages/standins/engine/schemas.ts
@@ -39,3 +39,31 @@
 export const CACHE_EVENTS_SCHEMA = z.object({
   from: z.coerce.number().int().min(0).default(0),
 });
+
+const COUNT = z.number().int().min(0).optional();
+const AMOUNT = z.number().min(0).optional();
+
+/** Options of the engine stand-in in a file; a missing field keeps its default. */
+export const ENGINE_OPTIONS_SCHEMA = z.strictObject({
+  fencing: z.enum(['checked', 'ignored']).optional(),
+  seed: z.number().int().optional(),
+  stepBaseMs: AMOUNT,
+  stepPerSequenceMs: AMOUNT,
+  prefillMsPerToken: AMOUNT,
+  prefillTokensPerStep: COUNT,
+  cachedPrefixTokens: COUNT,
+  memoryTokens: COUNT,
+  maxRunning: COUNT,
+  warmUpMs: AMOUNT,
+  coldConcurrency: COUNT,
+  warmConcurrency: COUNT,
+  rampMs: AMOUNT,
+  collapseFactor: AMOUNT,
+  collapseMs: AMOUNT,
+  meanOutputTokens: COUNT,
+  maxOutputTokens: COUNT,
+  loadLagMs: AMOUNT,
+  cacheEventLagMs: AMOUNT,
+  cacheEventLossShare: z.number().min(0).max(1).optional(),
+  loadVersionMs: AMOUNT,
+});
--- a/packages/standins/engine/startEngineStandin.ts
+++ b/packages/standins/engine/startEngineStandin.ts
@@ -10,8 +10,8 @@
 import { listEngineChildren } from './supervisor.js';
 import type { EngineViews } from './supervisor.js';
 import type { EngineEffect, EngineEvent, EngineOptions, EngineSettings } from './types.js';
-import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
-import type { CommonAdapters } from '../common/daemon.js';
+import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
+import type { CommonAdapters } from '../common/routedDaemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
@@ -117,7 +117,7 @@
     getVersion: () => views.scheduler.get().version,
   });
   const environment = { now: clock.now, random, createStartId: createId };
-  const daemon = createStandinDaemon<EngineEvent, EngineEffect>({
+  const daemon = createRoutedDaemon<EngineEvent, EngineEffect>({
     name: 'engine-standin',
     clock,
     children: listEngineChildren(settings, environment, views),
--- a/packages/standins/engine/types.ts
+++ b/packages/standins/engine/types.ts
@@ -1,5 +1,5 @@
 import type { EngineFault } from './faults.js';
-import type { CommonEffect } from '../common/daemon.js';
+import type { CommonEffect } from '../common/routedDaemon.js';
 import type { ReplyId } from '../common/exchange.js';
 import type { Millis } from '../../core/clock.js';
 
--- a/packages/standins/ledger/startLedgerStandin.ts
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -12,7 +12,7 @@
   LedgerOptions,
   LedgerStandin,
 } from './types.js';
-import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
+import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
@@ -88,7 +88,7 @@
   const book = createView<BookState>();
   const callMs = options.callMs ?? DEFAULT_CALL_MS;
   const environment = { executions, callMs, createStartId: createId };
-  const daemon = createStandinDaemon<LedgerEvent, LedgerEffect>({
+  const daemon = createRoutedDaemon<LedgerEvent, LedgerEffect>({
     name: 'ledger-standin',
     clock: createSystemClock(),
     children: listLedgerChildren(environment, book.publish),
--- a/packages/standins/ledger/types.ts
+++ b/packages/standins/ledger/types.ts
@@ -1,4 +1,4 @@
-import type { CommonEffect } from '../common/daemon.js';
+import type { CommonEffect } from '../common/routedDaemon.js';
 import type { Answer, ReplyId } from '../common/exchange.js';
 import type { Standin } from '../common/types.js';
 import type { Millis } from '../../core/clock.js';
--- a/packages/standins/platform/startPlatformStandin.ts
+++ b/packages/standins/platform/startPlatformStandin.ts
@@ -3,7 +3,7 @@
 import { APPEND_SCHEMA, INSTANCE_SCHEMA, PLATFORM_FAULTS_SCHEMA, READ_SCHEMA } from './schemas.js';
 import { listPlatformChildren } from './supervisor.js';
 import type { PlatformEffect, PlatformEvent, PlatformOptions } from './types.js';
-import { createStandinDaemon, performCommonEffect, startStandin } from '../common/daemon.js';
+import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
 import { createExchange } from '../common/exchange.js';
 import type { Exchange } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
@@ -76,7 +76,7 @@
   const clock = createSystemClock();
   const exchange = createExchange();
   const listener = createListener();
-  const daemon = createStandinDaemon<PlatformEvent, PlatformEffect>({
+  const daemon = createRoutedDaemon<PlatformEvent, PlatformEffect>({
     name: 'platform-standin',
     clock,
     children: listPlatformChildren(settings, clock),
--- a/packages/standins/platform/types.ts
+++ b/packages/standins/platform/types.ts
@@ -1,4 +1,4 @@
-import type { CommonEffect } from '../common/daemon.js';
+import type { CommonEffect } from '../common/routedDaemon.js';
 import type { ReplyId } from '../common/exchange.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
