--- a/packages/load/results/buildResult.ts
+++ b/packages/load/results/buildResult.ts
@@ -92,7 +92,7 @@
     overloadedWhileCold: engines.reduce((sum, engine) => sum + engine.overloadedWhileCold, 0),
     meanMemoryShare: computeMean(steady.map(({ memoryShare }) => memoryShare)),
     violations: [...requests.violations, ...records.violations],
-    actions: samples.actions,
+    actions: [...samples.actions].sort((left, right) => left.plannedMs - right.plannedMs),
     series: {
       outcomes: countOutcomes(all),
       versions: computeVersionShares(samples.samples),
--- a/packages/load/samples/samplesChild.ts
+++ b/packages/load/samples/samplesChild.ts
@@ -38,7 +38,8 @@
     }
     case 'acted': {
       const { at, scheduled, error } = event;
-      const acted = { at, action: JSON.stringify(scheduled.action), error };
+      const plannedMs = scheduled.atMs;
+      const acted = { plannedMs, at, action: JSON.stringify(scheduled.action), error };
       return toStep({ ...state, actions: [...state.actions, acted] });
     }
     default:
--- a/packages/load/samples/types.ts
+++ b/packages/load/samples/types.ts
@@ -24,6 +24,8 @@
 
 /** Scheduled action that was carried out. */
 export interface ActedAction {
+  readonly plannedMs: Millis;
+  /** When it was done; actions run side by side, as one may have to wait for the next. */
   readonly at: Millis;
   readonly action: string;
   /** Why it could not be carried out; empty when it was. */
