Queue waiting requests fairly among customers

Start-time fair queueing on predicted tokens within each class and resource, corrected by the tokens that an answer really took. Over its bounds the queue sheds the least important class first and within a class the customer whose backlog ends last; requests that cannot start before their deadline are refused as not-run. With the order of start tags reversed (trial), the bound on a small customer's wait fails.

--- /dev/null
+++ b/packages/decisions/fairness/constants.ts
@@ -0,0 +1,8 @@
+import type { QueueSettings } from './types.js';
+
+/** Bounds of a daemon whose settings name none: a longer queue only delays the refusal. */
+export const DEFAULT_QUEUE_SETTINGS: QueueSettings = {
+  maxWaiting: 2_048,
+  maxWaitingPerClass: 1_024,
+  retryAfterMs: 1_000,
+};
--- /dev/null
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -0,0 +1,233 @@
+import {
+  addToLane,
+  countLane,
+  createLane,
+  findHead,
+  findLast,
+  findWaiting,
+  formatLaneKey,
+  listExpired,
+  removeFromLane,
+  serveFromLane,
+  settleInLane,
+} from './lane.js';
+import type { LastInLine } from './lane.js';
+import type {
+  Lane,
+  QueueEffect,
+  QueueEvent,
+  QueueSettings,
+  QueueState,
+  WaitingRequest,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { ClassName, RequestId } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+import type { FailureCode } from '../../core/verdict.js';
+import type { Importance } from '../placement/types.js';
+
+type QueueStep = Step<QueueState, QueueEffect>;
+
+/** Creates an empty queue. */
+export const createQueueState = (settings: QueueSettings): QueueState => ({
+  settings,
+  lanes: new Map(),
+  laneOf: new Map(),
+});
+
+/** Ranks importance, the least important class first. */
+const toRank = (importance: Importance): number => {
+  switch (importance) {
+    case 'background':
+      return 0;
+    case 'standard':
+      return 1;
+    case 'critical':
+      return 2;
+    default:
+      return assertNever(importance);
+  }
+};
+
+/**
+ * Lists the requests to try next: the fair head of each lane, the most important class first and
+ * the longest wait first within an importance.
+ *
+ * @param state - queue
+ * @returns at most one request of each class and resource
+ */
+export const listHeads = (state: QueueState): readonly WaitingRequest[] =>
+  [...state.lanes.values()]
+    .flatMap((lane) => findHead(lane) ?? [])
+    .sort(
+      (left, right) =>
+        toRank(right.importance) - toRank(left.importance) || left.enqueuedAt - right.enqueuedAt,
+    );
+
+/**
+ * Counts the waiting requests.
+ *
+ * @param state - queue
+ * @returns number of waiting requests of all classes
+ */
+export const countWaiting = (state: QueueState): number => state.laneOf.size;
+
+const countClass = (state: QueueState, className: ClassName): number => {
+  let count = 0;
+  for (const lane of state.lanes.values()) {
+    if (lane.className === className) count += countLane(lane);
+  }
+  return count;
+};
+
+const applyLane = (state: QueueState, key: string, lane: Lane): QueueState => {
+  const lanes = new Map(state.lanes);
+  // A lane without requests restarts its virtual time, so nobody's history has to be kept.
+  if (countLane(lane) > 0) lanes.set(key, lane);
+  else lanes.delete(key);
+  return { ...state, lanes };
+};
+
+const removeWaiting = (
+  state: QueueState,
+  request: WaitingRequest,
+  take: (lane: Lane, request: WaitingRequest) => Lane,
+): QueueState => {
+  const key = formatLaneKey(request);
+  const lane = state.lanes.get(key);
+  if (lane === undefined) return state;
+  const laneOf = new Map(state.laneOf);
+  laneOf.delete(request.requestId);
+  return applyLane({ ...state, laneOf }, key, take(lane, request));
+};
+
+const addWaiting = (state: QueueState, request: WaitingRequest): QueueState => {
+  const key = formatLaneKey(request);
+  const lane = state.lanes.get(key) ?? createLane(request);
+  const laneOf = new Map(state.laneOf).set(request.requestId, key);
+  return applyLane({ ...state, laneOf }, key, addToLane(lane, request));
+};
+
+const findById = (state: QueueState, requestId: RequestId): WaitingRequest | undefined => {
+  const lane = state.lanes.get(state.laneOf.get(requestId) ?? '');
+  return lane === undefined ? undefined : findWaiting(lane, requestId);
+};
+
+const buildRefusal = (
+  request: WaitingRequest,
+  code: FailureCode,
+  message: string,
+  retryAfterMs?: Millis,
+): QueueEffect => ({
+  kind: 'refuse',
+  requestId: request.requestId,
+  failure: createFailure('not-run', code, message, retryAfterMs),
+});
+
+const pickLast = (lanes: readonly Lane[]): WaitingRequest | undefined => {
+  let last: LastInLine | undefined;
+  for (const lane of lanes) {
+    const candidate = findLast(lane);
+    if (candidate === undefined) continue;
+    if (last === undefined || candidate.finishTag > last.finishTag) last = candidate;
+  }
+  return last?.request;
+};
+
+const findShed = (state: QueueState): WaitingRequest | undefined => {
+  const lanes = [...state.lanes.values()];
+  const least = lanes.reduce((rank, lane) => Math.min(rank, toRank(lane.importance)), Infinity);
+  return pickLast(lanes.filter((lane) => toRank(lane.importance) === least));
+};
+
+/** The bounds hold after the newcomer is in, so that it competes with those that wait already. */
+const shedExcess = (state: QueueState, newcomer: WaitingRequest): QueueStep => {
+  const { maxWaiting, maxWaitingPerClass, retryAfterMs } = state.settings;
+  if (countClass(state, newcomer.className) > maxWaitingPerClass) {
+    const lanes = [...state.lanes.values()];
+    const victim = pickLast(lanes.filter((lane) => lane.className === newcomer.className));
+    if (victim === undefined) return toStep(state);
+    const message = `the queue of class ${victim.className} is full`;
+    return toStep(
+      removeWaiting(state, victim, removeFromLane),
+      buildRefusal(victim, 'overloaded', message, retryAfterMs),
+    );
+  }
+  if (countWaiting(state) <= maxWaiting) return toStep(state);
+  const victim = findShed(state);
+  if (victim === undefined) return toStep(state);
+  const message = `class ${victim.className} is shed, since the queue is full`;
+  return toStep(
+    removeWaiting(state, victim, removeFromLane),
+    buildRefusal(victim, 'shed', message, retryAfterMs),
+  );
+};
+
+const handleEnqueue = (state: QueueState, request: WaitingRequest): QueueStep => {
+  if (state.laneOf.has(request.requestId)) return toStep(state);
+  const step = shedExcess(addWaiting(state, request), request);
+  return step.state.laneOf.has(request.requestId)
+    ? toStep(step.state, { kind: 'queued', requestId: request.requestId }, ...step.effects)
+    : step;
+};
+
+const handleTick = (state: QueueState, now: Millis): QueueStep => {
+  const expired = [...state.lanes.values()].flatMap((lane) => listExpired(lane, now));
+  const next = expired.reduce(
+    (current, request) => removeWaiting(current, request, removeFromLane),
+    state,
+  );
+  const message = 'no endpoint had room in time for the deadline';
+  return toStep(
+    next,
+    ...expired.map((request) => buildRefusal(request, 'deadline-exceeded', message)),
+  );
+};
+
+const handleTake = (state: QueueState, requestId: RequestId): QueueStep => {
+  const request = findById(state, requestId);
+  if (request === undefined) return toStep(state);
+  return toStep(removeWaiting(state, request, serveFromLane), { kind: 'serve', request });
+};
+
+const handleSettle = (
+  state: QueueState,
+  request: WaitingRequest,
+  actualTokens: number,
+): QueueStep => {
+  const key = formatLaneKey(request);
+  const lane = state.lanes.get(key);
+  if (lane === undefined) return toStep(state);
+  return toStep(applyLane(state, key, settleInLane(lane, request, actualTokens)));
+};
+
+/**
+ * Decides the order of waiting requests. Within a class, customers share by weight in predicted
+ * tokens (start-time fair queueing); over the bounds, the least important class is shed first and,
+ * within a class, the customer whose backlog ends last.
+ *
+ * @param state - queue
+ * @param event - arrival, departure or time
+ * @returns next state and effects
+ */
+export const decideQueue = (state: QueueState, event: QueueEvent): QueueStep => {
+  switch (event.kind) {
+    case 'enqueue':
+      return handleEnqueue(state, event.request);
+    case 'take':
+      return handleTake(state, event.requestId);
+    case 'cancel': {
+      const request = findById(state, event.requestId);
+      return toStep(request === undefined ? state : removeWaiting(state, request, removeFromLane));
+    }
+    case 'tick':
+      return handleTick(state, event.now);
+    case 'settle':
+      return handleSettle(state, event.request, event.actualTokens);
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/packages/decisions/fairness/lane.ts
@@ -0,0 +1,200 @@
+import type { CustomerQueue, Lane, WaitingRequest } from './types.js';
+import type { CustomerId, RequestId } from '../../core/ids.js';
+
+/** Creates the empty lane of a request. */
+export const createLane = (request: WaitingRequest): Lane => ({
+  className: request.className,
+  importance: request.importance,
+  resource: request.resource,
+  virtualTime: 0,
+  customers: new Map(),
+});
+
+/**
+ * Formats the key of a request's lane.
+ *
+ * @param request - class and resource
+ * @returns key in the state's map
+ */
+export const formatLaneKey = (request: WaitingRequest): string =>
+  `${request.className}\u0000${request.resource}`;
+
+/**
+ * Counts the requests that wait in a lane.
+ *
+ * @param lane - lane
+ * @returns number of waiting requests
+ */
+export const countLane = (lane: Lane): number => {
+  let count = 0;
+  for (const queue of lane.customers.values()) count += queue.waiting.length;
+  return count;
+};
+
+/** Queues without requests are kept only while they owe virtual time to the others. */
+const applyQueue = (lane: Lane, queue: CustomerQueue): Lane => {
+  const customers = new Map(lane.customers);
+  if (queue.waiting.length > 0 || queue.startTag > lane.virtualTime) {
+    customers.set(queue.customer, queue);
+  } else {
+    customers.delete(queue.customer);
+  }
+  return { ...lane, customers };
+};
+
+const pruneQueues = (lane: Lane): Lane => {
+  const customers = new Map<CustomerId, CustomerQueue>();
+  for (const [customer, queue] of lane.customers) {
+    if (queue.waiting.length > 0 || queue.startTag > lane.virtualTime) {
+      customers.set(customer, queue);
+    }
+  }
+  return { ...lane, customers };
+};
+
+/**
+ * Adds a request at the end of its customer's queue. A customer that was idle starts at the present
+ * virtual time: it neither saves up a claim nor pays for the others' backlog.
+ *
+ * @param lane - lane of the request
+ * @param request - new request
+ * @returns the lane with the request
+ */
+export const addToLane = (lane: Lane, request: WaitingRequest): Lane => {
+  const known = lane.customers.get(request.customer);
+  const startTag =
+    known === undefined || known.waiting.length === 0
+      ? Math.max(lane.virtualTime, known?.startTag ?? 0)
+      : known.startTag;
+  const waiting = [...(known?.waiting ?? []), request];
+  return applyQueue(lane, {
+    customer: request.customer,
+    weight: request.weight,
+    startTag,
+    waiting,
+  });
+};
+
+/**
+ * Finds the request that start-time fair queueing serves next.
+ *
+ * @param lane - lane
+ * @returns first request of the customer with the smallest start tag; the older one at a tie
+ */
+export const findHead = (lane: Lane): WaitingRequest | undefined => {
+  let best: { readonly tag: number; readonly request: WaitingRequest } | undefined;
+  for (const queue of lane.customers.values()) {
+    const [request] = queue.waiting;
+    if (request === undefined) continue;
+    const isEarlier =
+      best === undefined ||
+      queue.startTag < best.tag ||
+      (queue.startTag === best.tag && request.enqueuedAt < best.request.enqueuedAt);
+    if (isEarlier) best = { tag: queue.startTag, request };
+  }
+  return best?.request;
+};
+
+/**
+ * Takes a request out of a lane without charge.
+ *
+ * @param lane - lane of the request
+ * @param request - waiting request
+ * @returns the lane without it
+ */
+export const removeFromLane = (lane: Lane, request: WaitingRequest): Lane => {
+  const queue = lane.customers.get(request.customer);
+  if (queue === undefined) return lane;
+  const waiting = queue.waiting.filter((item) => item.requestId !== request.requestId);
+  return applyQueue(lane, { ...queue, waiting });
+};
+
+/**
+ * Serves a request: its customer is charged its predicted tokens, and virtual time moves to its
+ * start.
+ *
+ * @param lane - lane of the request
+ * @param request - waiting request
+ * @returns the lane without it
+ */
+export const serveFromLane = (lane: Lane, request: WaitingRequest): Lane => {
+  const queue = lane.customers.get(request.customer);
+  if (queue === undefined) return lane;
+  const virtualTime = Math.max(lane.virtualTime, queue.startTag);
+  const startTag = queue.startTag + request.predictedTokens / queue.weight;
+  const waiting = queue.waiting.filter((item) => item.requestId !== request.requestId);
+  const served = applyQueue({ ...lane, virtualTime }, { ...queue, startTag, waiting });
+  return pruneQueues(served);
+};
+
+/**
+ * Charges the difference between a served request's tokens and its prediction. An early end gives
+ * back no more than the customer's lead over the others.
+ *
+ * @param lane - lane of the request
+ * @param request - served request
+ * @param actualTokens - tokens it took
+ * @returns the lane with the corrected start tag
+ */
+export const settleInLane = (lane: Lane, request: WaitingRequest, actualTokens: number): Lane => {
+  const queue = lane.customers.get(request.customer);
+  if (queue === undefined) return lane;
+  const difference = (actualTokens - request.predictedTokens) / queue.weight;
+  return applyQueue(lane, {
+    ...queue,
+    startTag: Math.max(lane.virtualTime, queue.startTag + difference),
+  });
+};
+
+/** A request that would be served last, and when in virtual time. */
+export interface LastInLine {
+  readonly request: WaitingRequest;
+  readonly finishTag: number;
+}
+
+/**
+ * Finds the request to give up when a lane is too long: the newest of the customer whose backlog
+ * ends last.
+ *
+ * @param lane - lane
+ * @returns the request, or nothing when the lane is empty
+ */
+export const findLast = (lane: Lane): LastInLine | undefined => {
+  let last: LastInLine | undefined;
+  for (const queue of lane.customers.values()) {
+    const request = queue.waiting.at(-1);
+    if (request === undefined) continue;
+    const backlog = queue.waiting.reduce((sum, item) => sum + item.predictedTokens, 0);
+    // Counted from now on, so that lanes with different virtual times can be compared.
+    const finishTag = queue.startTag - lane.virtualTime + backlog / queue.weight;
+    if (last === undefined || finishTag > last.finishTag) last = { request, finishTag };
+  }
+  return last;
+};
+
+/**
+ * Lists the requests that can no longer start in time.
+ *
+ * @param lane - lane
+ * @param now - current instant
+ * @returns expired requests
+ */
+export const listExpired = (lane: Lane, now: number): readonly WaitingRequest[] =>
+  [...lane.customers.values()].flatMap((queue) =>
+    queue.waiting.filter((request) => request.latestStartAt < now),
+  );
+
+/**
+ * Finds a waiting request.
+ *
+ * @param lane - lane of the request
+ * @param requestId - its id
+ * @returns the request, or nothing when it does not wait here
+ */
+export const findWaiting = (lane: Lane, requestId: RequestId): WaitingRequest | undefined => {
+  for (const queue of lane.customers.values()) {
+    const found = queue.waiting.find((request) => request.requestId === requestId);
+    if (found !== undefined) return found;
+  }
+  return undefined;
+};
