--- a/packages/decisions/placement/placement.bench.ts
+++ b/packages/decisions/placement/placement.bench.ts
@@ -1,3 +1,5 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
 import { choosePlacement } from './choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from './constants.js';
 import { createOwnTable } from './own.js';
@@ -75,8 +77,9 @@
   }
 };
 
-const toMicroseconds = (sorted: readonly number[], share: number): number =>
-  Number(((sorted[Math.floor(sorted.length * share)] ?? NaN) * 1_000).toFixed(2));
+/** Durations are recorded in nanoseconds. */
+const toMicroseconds = (histogram: Histogram, percentile: number): number =>
+  histogram.getValueAtPercentile(percentile) / 1_000;
 
 const measurePolicy = (
   policy: PlacementPolicy,
@@ -84,19 +87,18 @@
   own: OwnTable,
 ) => {
   const random = createRandomSource(5);
-  const durations: number[] = [];
+  const histogram = build({ highestTrackableValue: 1e9, numberOfSignificantValueDigits: 3 });
   for (let index = 0; index < WARM_UP_DECISIONS + MEASURED_DECISIONS; index += 1) {
     const request = buildRequest(index, random);
     const startedAt = performance.now();
     choosePlacement(policy, request, endpoints, own, survival, random);
     const duration = performance.now() - startedAt;
-    if (index >= WARM_UP_DECISIONS) durations.push(duration);
+    if (index >= WARM_UP_DECISIONS) histogram.recordValue(Math.round(duration * 1e6));
   }
-  durations.sort((left, right) => left - right);
   return {
     policy: policy.kind,
-    p50Microseconds: toMicroseconds(durations, 0.5),
-    p99Microseconds: toMicroseconds(durations, 0.99),
+    p50Microseconds: toMicroseconds(histogram, 50),
+    p99Microseconds: toMicroseconds(histogram, 99),
   };
 };
 
--- a/packages/decisions/placement/types.ts
+++ b/packages/decisions/placement/types.ts
@@ -28,6 +28,8 @@
   readonly answerLength: AnswerLength;
   /** Largest accepted probability of a memory overflow; the policy's value when absent. */
   readonly overflowProbability?: number;
+  /** Cost of a stall relative to other classes; by importance and length when absent. */
+  readonly stallWeight?: number;
 }
 
 /** What a request runs on. */
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -7,10 +7,19 @@
  */
 export const FORECAST_STEPS_TOKENS: readonly number[] = [16, 64, 256, 1_024, 4_096];
 
+/** Smallest survival that is told apart from 0. */
+const MIN_SURVIVAL = 1e-12;
+
 /** Predicted change of memory at each forecast step: sums over sequences, in tokens. */
 export interface MemoryChange {
   readonly mean: Float64Array;
   readonly variance: Float64Array;
+  /** Third central moments. */
+  readonly skew: Float64Array;
+  /** Change when no sequence ends before the step. */
+  readonly grown: Float64Array;
+  /** Logarithm of the probability that no sequence ends before the step. */
+  readonly logAlive: Float64Array;
 }
 
 /** Memory of an engine against which a change is tested, in tokens. */
@@ -33,12 +42,18 @@
 export const createMemoryChange = (): MemoryChange => ({
   mean: new Float64Array(FORECAST_STEPS_TOKENS.length),
   variance: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  skew: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  grown: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  logAlive: new Float64Array(FORECAST_STEPS_TOKENS.length),
 });
 
 /** Resets a change to zero, in place. */
 export const clearMemoryChange = (change: MemoryChange): void => {
   change.mean.fill(0);
   change.variance.fill(0);
+  change.skew.fill(0);
+  change.grown.fill(0);
+  change.logAlive.fill(0);
 };
 
 const applyOutcome = (
@@ -50,9 +65,14 @@
   count: number,
 ): void => {
   const spread = grown - ended;
+  const variance = count * survival * (1 - survival) * spread * spread;
   change.mean[step] = (change.mean[step] ?? 0) + count * (ended + survival * spread);
-  change.variance[step] =
-    (change.variance[step] ?? 0) + count * survival * (1 - survival) * spread * spread;
+  change.variance[step] = (change.variance[step] ?? 0) + variance;
+  change.skew[step] = (change.skew[step] ?? 0) + variance * (1 - 2 * survival) * spread;
+  change.grown[step] = (change.grown[step] ?? 0) + count * grown;
+  // A logarithm of 0 could not be taken out of the sum again.
+  change.logAlive[step] =
+    (change.logAlive[step] ?? 0) + count * Math.log(Math.max(survival, MIN_SURVIVAL));
 };
 
 /**
@@ -130,9 +150,14 @@
       0,
       (target.variance[step] ?? 0) + sign * (other.variance[step] ?? 0),
     );
+    target.skew[step] = (target.skew[step] ?? 0) + sign * (other.skew[step] ?? 0);
+    target.grown[step] = (target.grown[step] ?? 0) + sign * (other.grown[step] ?? 0);
+    target.logAlive[step] = (target.logAlive[step] ?? 0) + sign * (other.logAlive[step] ?? 0);
   }
 };
 
+const computeNormalDensity = (z: number): number => Math.exp((-z * z) / 2) / Math.sqrt(2 * Math.PI);
+
 /**
  * Computes the upper tail of the standard normal distribution.
  *
@@ -146,27 +171,41 @@
   const series =
     k *
     (0.31938153 + k * (-0.356563782 + k * (1.781477937 + k * (-1.821255978 + k * 1.330274429))));
-  return (Math.exp((-z * z) / 2) / Math.sqrt(2 * Math.PI)) * series;
+  return computeNormalDensity(z) * series;
+};
+
+/**
+ * Estimates the probability of an overflow at one step by a normal approximation of the sum with
+ * Edgeworth's correction for skewness, since mostly all sequences grow a little and rarely one frees
+ * much. With few sequences that is not enough, and the probability that all grow is a lower bound
+ * when their growth does not fit.
+ */
+const estimateStep = (free: number, change: MemoryChange, step: number): number => {
+  const deviation = Math.sqrt(change.variance[step] ?? 0) + 1;
+  const z = (free - (change.mean[step] ?? 0)) / deviation;
+  const skewness = (change.skew[step] ?? 0) / deviation ** 3;
+  const correction = (computeNormalDensity(z) * skewness * (z * z - 1)) / 6;
+  const tail = Math.min(1, Math.max(0, computeNormalTail(z) + correction));
+  if ((change.grown[step] ?? 0) <= free) return tail;
+  return Math.max(tail, Math.exp(Math.min(0, change.logAlive[step] ?? 0)));
 };
 
 /**
- * Predicts whether memory overflows within the horizon, by a normal approximation of the sum over
- * the sequences at each forecast step.
+ * Predicts whether memory overflows within the horizon.
  *
  * @param budget - memory now and horizon
  * @param change - sums over the sequences, with the request under decision
  * @returns overflow probability and expected headroom
  */
 export const estimateMemory = (budget: MemoryBudget, change: MemoryChange): MemoryPrediction => {
-  let overflowProbability = budget.used > budget.total ? 1 : 0;
-  let headroom = (budget.total - budget.used) / budget.total;
+  const free = budget.total - budget.used;
+  let overflowProbability = free < 0 ? 1 : 0;
+  let headroom = free / budget.total;
   for (let step = 0; step < FORECAST_STEPS_TOKENS.length; step += 1) {
     const tokens = FORECAST_STEPS_TOKENS[step] ?? 0;
     if (step > 0 && tokens > budget.horizonTokens) break;
-    const free = budget.total - budget.used - (change.mean[step] ?? 0);
-    const deviation = Math.sqrt(change.variance[step] ?? 0) + 1;
-    overflowProbability = Math.max(overflowProbability, computeNormalTail(free / deviation));
-    headroom = Math.min(headroom, free / budget.total);
+    overflowProbability = Math.max(overflowProbability, estimateStep(free, change, step));
+    headroom = Math.min(headroom, (free - (change.mean[step] ?? 0)) / budget.total);
   }
   return { overflowProbability, headroom };
 };
