--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -3,6 +3,7 @@
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
 import { ENGINE_CONNECTIONS, ENGINE_PROBE_TIMEOUT_MS } from './constants.js';
+import type { Clock } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { GenerationId } from '../../core/ids.js';
@@ -95,6 +96,7 @@
   readonly fetchCacheEvents: (from: number) => void;
   readonly startGeneration: (generationId: GenerationId, call: GenerateCall) => void;
   readonly cancelGeneration: (generationId: GenerationId) => void;
+  readonly cancelAll: () => void;
   readonly setFlow: (generationId: GenerationId, flow: 'flowing' | 'paused') => void;
   readonly callService: (call: ServiceCall) => void;
   readonly close: () => Promise<void>;
@@ -104,11 +106,13 @@
  * Creates the adapter to the endpoint's HTTP interface. Each completion becomes an event.
  *
  * @param baseUrl - address of the engine or service
+ * @param clock - time of the probes
  * @param post - receives the completions
  * @returns the adapter
  */
 export const createEngineClient = (
   baseUrl: string,
+  clock: Clock,
   post: (event: EndpointEvent) => void,
 ): EngineClient => {
   const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 1, bodyTimeout: 0 });
@@ -125,12 +129,13 @@
   };
 
   const fetchHealth = (): void => {
+    const requestedAt = clock.now();
     fetchJson('/health').then(
       (body) => {
         const parsed = healthSchema.safeParse(body);
         post(
           parsed.success
-            ? { to: 'engine', kind: 'health-received', health: parsed.data }
+            ? { to: 'engine', kind: 'health-received', health: parsed.data, requestedAt }
             : { to: 'engine', kind: 'health-failed', reason: z.prettifyError(parsed.error) },
         );
       },
@@ -265,15 +270,20 @@
     }
   };
 
+  const cancelGeneration = (generationId: GenerationId): void => {
+    running.get(generationId)?.gate?.open();
+    running.get(generationId)?.controller.abort();
+    running.delete(generationId);
+  };
+
   return {
     fetchHealth,
     fetchLoad,
     fetchCacheEvents,
     startGeneration: (generationId, call) => void generate(generationId, call),
-    cancelGeneration: (generationId) => {
-      running.get(generationId)?.gate?.open();
-      running.get(generationId)?.controller.abort();
-      running.delete(generationId);
+    cancelGeneration,
+    cancelAll: () => {
+      for (const generationId of [...running.keys()]) cancelGeneration(generationId);
     },
     setFlow: (generationId, flow) => {
       const state = running.get(generationId);
