--- a/app/serving.ts
+++ b/app/serving.ts
@@ -3,6 +3,8 @@
   /** Address of each interface by its name. */
   readonly urls: Readonly<Record<string, string>>;
   readonly stop: () => Promise<void>;
+  /** Resolves when it ended by itself. */
+  readonly ended?: Promise<unknown>;
 }
 
 /** Flags of every command that serves. */
@@ -17,9 +19,10 @@
  * Waits for SIGINT or SIGTERM, or for the end of standard input if that is watched too.
  *
  * @param input - whether the end of standard input counts
+ * @param ended - resolves when there is nothing left to wait for
  * @returns a promise that resolves once; a second signal then ends the process at once
  */
-export const waitForEnd = (input: 'watched' | 'ignored'): Promise<void> =>
+export const waitForEnd = (input: 'watched' | 'ignored', ended?: Promise<unknown>): Promise<void> =>
   new Promise((resolve) => {
     const handle = (): void => {
       for (const signal of END_SIGNALS) process.off(signal, handle);
@@ -29,6 +32,7 @@
     };
     for (const signal of END_SIGNALS) process.on(signal, handle);
     if (input === 'watched') process.stdin.on('close', handle).resume();
+    void ended?.then(handle);
   });
 
 const formatUrls = (name: string, urls: Serving['urls']): string =>
@@ -48,7 +52,7 @@
   serving: Serving,
   flags: ServingFlags,
 ): Promise<void> => {
-  const end = waitForEnd(flags['stop-with-input'] ? 'watched' : 'ignored');
+  const end = waitForEnd(flags['stop-with-input'] ? 'watched' : 'ignored', serving.ended);
   process.stdout.write(
     flags.json
       ? `${JSON.stringify({ name, urls: serving.urls })}\n`
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -18,7 +18,7 @@
 import { createSystemClock } from '../../core/clock.js';
 import type { Millis } from '../../core/clock.js';
 import type { Loop } from '../../core/loop/types.js';
-import { createStandinDaemon } from '../../standins/common/daemon.js';
+import { createRoutedDaemon } from '../../standins/common/routedDaemon.js';
 
 /** Orders to the processes of a cluster, as promises over the loop. */
 export interface ProcessControl {
@@ -103,7 +103,7 @@
     watch.get().get(options.platformName)?.urls['platform'] ?? '';
   const instances = createListClient({ getPlatformUrl, post });
   const adapters = { launcher, instances, post };
-  const daemon = createStandinDaemon<ClusterEvent, ClusterEffect>({
+  const daemon = createRoutedDaemon<ClusterEvent, ClusterEffect>({
     name: 'cluster',
     clock: createSystemClock(),
     children: listClusterChildren(watch.publish),
--- a/packages/cluster/supervisor.ts
+++ b/packages/cluster/supervisor.ts
@@ -1,7 +1,7 @@
 import { createProcessesChild } from './processes/processesChild.js';
 import type { ClusterEffect, ClusterEvent, ProcessTable } from './processes/types.js';
+import { buildRoutedChild } from '../core/supervision/routedChild.js';
 import type { ChildSpec } from '../core/supervision/types.js';
-import { buildRoutedChild } from '../standins/common/routedChild.js';
 
 /**
  * Lists the children of a cluster's loop. The processes themselves are not restarted by it: a test
@@ -13,5 +13,9 @@
 export const listClusterChildren = (
   publish: (table: ProcessTable) => void,
 ): readonly ChildSpec<ClusterEvent, ClusterEffect>[] => [
-  buildRoutedChild('processes', createProcessesChild, publish),
+  buildRoutedChild('processes', {
+    rebuildsFrom: 'nothing',
+    createLogic: createProcessesChild,
+    publish,
+  }),
 ];
