Add process tests of the promises over a whole cluster

Each test waits for events of the running system. One fails: a request that an endpoint refused as overloaded excludes that endpoint for good and waits until its deadline (seen with SIGTERM to the other endpoint daemon).

--- /dev/null
+++ b/packages/cluster/atMostOnce.promise.test.ts
@@ -0,0 +1,137 @@
+import test from 'ava';
+import { applyFault, countExecutions } from './callers/standinPages.js';
+import type { CallerAnswer } from './callers/types.js';
+import { startCluster } from './startCluster.js';
+import {
+  buildCaller,
+  fetchBalance,
+  fetchStats,
+  getInspectionUrl,
+  openTestStream,
+  sendSweep,
+  waitForLogged,
+  waitUntil,
+} from './testing.js';
+import type { Cluster } from './types.js';
+import { createId } from '../core/ids.js';
+
+let cluster: Cluster;
+
+test.beforeEach(async () => {
+  cluster = await startCluster({ engines: [{}] });
+});
+
+test.afterEach.always(() => cluster.stop());
+
+const getEntryUrl = (index: number): string => cluster.entryUrls[index] ?? '';
+
+const countRuns = (key: string): Promise<number> => countExecutions(getInspectionUrl(cluster), key);
+
+const getVerdict = ({ json }: CallerAnswer): unknown =>
+  (json as { readonly verdict?: unknown } | undefined)?.verdict;
+
+/** Sends the same sweep until it is answered, as a caller does after a refusal as not-run. */
+const sendUntilAnswered = (key: string, baseUrl: string): Promise<CallerAnswer> =>
+  waitUntil(async () => {
+    const answer = await sendSweep(buildCaller(cluster, baseUrl), key);
+    return getVerdict(answer) === 'not-run' ? undefined : answer;
+  });
+
+// Guards against two entry daemons that each run the same instruction.
+test.serial('a sweep sent to both entry daemons at once runs once', async (t) => {
+  const keys = Array.from({ length: 8 }, createId);
+  const pairs = await Promise.all(
+    keys.map(async (key) => ({
+      key,
+      answers: await Promise.all(
+        [0, 1].map((index) => sendSweep(buildCaller(cluster, getEntryUrl(index)), key)),
+      ),
+    })),
+  );
+  for (const { key, answers } of pairs) {
+    const ran = answers.filter(({ status }) => status === 201);
+    t.true(ran.length >= 1, answers.map(({ text }) => text).join(' '));
+    t.is(new Set(ran.map(({ text }) => text)).size, 1);
+    t.is(await countRuns(key), 1);
+    const again = await sendUntilAnswered(key, getEntryUrl(1));
+    t.is(again.status, 201, again.text);
+    t.is(again.text, ran[0]?.text ?? '');
+    t.is(await countRuns(key), 1);
+  }
+});
+
+// Guards against a sweep that runs without a durable intent, and against a log outage that stops
+// traffic which needs no log.
+test.serial('a log outage refuses sweeps as not-run and nothing else', async (t) => {
+  const platformUrl = cluster.standinUrls.platform;
+  await applyFault(platformUrl, { log: 'down' });
+  const key = createId();
+  const caller = buildCaller(cluster, getEntryUrl(0));
+  const refused = await sendSweep(caller, key);
+  t.is(refused.status, 503, refused.text);
+  t.like(refused.json, { verdict: 'not-run', code: 'log-unavailable' });
+  t.is((await fetchBalance(caller)).status, 200);
+  const options = { model: cluster.model, content: 'memo', targetTokens: 10 };
+  const stream = await openTestStream(caller, options);
+  t.like(await stream.read(), { end: { kind: 'done' } });
+  t.is(await countRuns(key), 0);
+  await applyFault(platformUrl, { log: 'up' });
+  const answer = await sendUntilAnswered(key, getEntryUrl(0));
+  t.is(answer.status, 201, answer.text);
+  t.is(await countRuns(key), 1);
+});
+
+// Guards against a second intent, and a second run, after an append whose answer was lost.
+test.serial('sweeps whose append answers are lost run at most once', async (t) => {
+  const platformUrl = cluster.standinUrls.platform;
+  await applyFault(platformUrl, { log: 'lose-answers' });
+  const keys = Array.from({ length: 4 }, createId);
+  const answers = await Promise.all(
+    keys.map((key) => sendSweep(buildCaller(cluster, getEntryUrl(0)), key)),
+  );
+  for (const [index, answer] of answers.entries()) {
+    const runs = await countRuns(keys[index] ?? '');
+    const expected = answer.status === 201 ? [1] : getVerdict(answer) === 'not-run' ? [0] : [0, 1];
+    t.true(expected.includes(runs), `${runs.toString()} runs: ${answer.text}`);
+  }
+  await applyFault(platformUrl, { log: 'up' });
+  for (const key of keys) {
+    const answer = await sendUntilAnswered(key, getEntryUrl(1));
+    t.is(answer.status, 201, answer.text);
+    t.is(await countRuns(key), 1);
+  }
+});
+
+// Guards against a caller who sends again after a crash and moves money twice.
+test.serial('a sweep in flight when its entry daemon is killed runs once', async (t) => {
+  const inspectionUrl = getInspectionUrl(cluster);
+  const { calls: before = 0 } = await fetchStats(inspectionUrl);
+  await applyFault(inspectionUrl, { kind: 'delay-before', delayMs: 1_000 });
+  const key = createId();
+  const cut = sendSweep(buildCaller(cluster, getEntryUrl(0)), key);
+  await waitUntil(async () =>
+    ((await fetchStats(inspectionUrl))['calls'] ?? 0) > before ? true : undefined,
+  );
+  await cluster.findProcess('entry-1').kill('SIGKILL');
+  await t.throwsAsync(cut);
+  const answer = await sendUntilAnswered(key, getEntryUrl(1));
+  t.true(answer.status === 201 || getVerdict(answer) === 'may-have-run', answer.text);
+  t.true((await countRuns(key)) <= 1);
+});
+
+// Guards against a paused daemon that dispatches an intent which others have settled meanwhile.
+test.serial('a daemon that was frozen does not run again what ran meanwhile', async (t) => {
+  const key = createId();
+  const frozen = cluster.findProcess('entry-1');
+  const frozenUrl = getEntryUrl(0);
+  frozen.freeze();
+  const late = sendSweep(buildCaller(cluster, frozenUrl), key);
+  const answer = await sendUntilAnswered(key, getEntryUrl(1));
+  t.is(answer.status, 201, answer.text);
+  const other = cluster.findProcess('entry-2').urls['callers'] ?? '';
+  await waitForLogged(other, 'outcome-appended');
+  frozen.resume();
+  const { status, text } = await late;
+  if (status === 201) t.is(text, answer.text);
+  t.is(await countRuns(key), 1);
+});
--- a/packages/cluster/callers/callClient.ts
+++ b/packages/cluster/callers/callClient.ts
@@ -29,6 +29,7 @@
       authorization: `Bearer ${target.key}`,
       ...(body === undefined ? {} : { 'content-type': 'application/json' }),
       ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+      ...call.headers,
     },
     body: body === undefined ? null : typeof body === 'string' ? body : JSON.stringify(body),
     reset: true,
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -74,6 +74,7 @@
   /** Path below the base address. */
   readonly path: string;
   readonly idempotencyKey?: string;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   readonly signal?: AbortSignal;
 }
--- /dev/null
+++ b/packages/cluster/gracefulShutdown.promise.test.ts
@@ -0,0 +1,81 @@
+import test from 'ava';
+import { startCluster } from './startCluster.js';
+import { buildCaller, checkTokens, openTestStream } from './testing.js';
+import type { Cluster, ClusterOptions } from './types.js';
+
+const LONG = 300;
+
+const startTestCluster = (options: ClusterOptions = {}): Promise<Cluster> =>
+  startCluster({ engines: [{}, {}], ledgers: 0, ...options });
+
+const startStreams = (cluster: Cluster, baseUrl: string, count: number) =>
+  Promise.all(
+    Array.from({ length: count }, (_, index) =>
+      openTestStream(buildCaller(cluster, baseUrl), {
+        model: cluster.model,
+        content: `memo ${index.toString()}`,
+        targetTokens: LONG,
+      }),
+    ),
+  );
+
+// Guards against a shutdown of an entry daemon that cuts off streams that it could finish.
+test.serial('SIGTERM to an entry daemon lets its streams end', async (t) => {
+  const cluster = await startTestCluster();
+  t.teardown(cluster.stop);
+  const streams = await startStreams(cluster, cluster.entryUrls[0] ?? '', 3);
+  await Promise.all(streams.map((stream) => stream.waitForChunks(5)));
+  const exit = cluster.findProcess('entry-1').kill('SIGTERM');
+  for (const stream of streams) {
+    const { texts, end } = await stream.read();
+    t.deepEqual(end, { kind: 'done' });
+    t.is(checkTokens(texts), null);
+    t.is(texts.length, LONG);
+  }
+  t.deepEqual(await exit, { code: 0, signal: null });
+});
+
+// Guards against a stream that is cut off at the end of the drain and cannot go on elsewhere.
+test.serial(
+  'a stream that outlasts the drain is handed over to the other entry daemon',
+  async (t) => {
+    const cluster = await startTestCluster({ drainMs: 1_000 });
+    t.teardown(cluster.stop);
+    const [stream] = await startStreams(cluster, cluster.entryUrls[0] ?? '', 1);
+    await stream?.waitForChunks(5);
+    const exit = await cluster.findProcess('entry-1').kill('SIGTERM');
+    t.deepEqual(exit, { code: 0, signal: null });
+    const first = await stream?.read();
+    t.is(first?.end.kind, 'cut');
+    const resumed = await openTestStream(buildCaller(cluster, cluster.entryUrls[1]), {
+      model: cluster.model,
+      content: 'memo 0',
+      lastEventId: first?.lastEventId ?? '',
+    });
+    const rest = await resumed.read();
+    t.deepEqual(rest.end, { kind: 'done' });
+    const texts = [...(first?.texts ?? []), ...rest.texts];
+    t.is(checkTokens(texts), null);
+    t.is(texts.length, LONG);
+  },
+);
+
+// Guards against a leaving endpoint whose streams are cut off or that gets new work.
+test.serial(
+  'SIGTERM to an endpoint daemon lets its streams end, and others take new work',
+  async (t) => {
+    const cluster = await startTestCluster();
+    t.teardown(cluster.stop);
+    const streams = await startStreams(cluster, cluster.baseUrl, 3);
+    await Promise.all(streams.map((stream) => stream.waitForChunks(5)));
+    const exit = cluster.leave('endpoint-1');
+    const later = await startStreams(cluster, cluster.baseUrl, 2);
+    for (const stream of [...streams, ...later]) {
+      const { texts, end } = await stream.read();
+      t.deepEqual(end, { kind: 'done' });
+      t.is(checkTokens(texts), null);
+      t.is(texts.length, LONG);
+    }
+    t.deepEqual(await exit, { code: 0, signal: null });
+  },
+);
