--- a/packages/load/supervisor.ts
+++ b/packages/load/supervisor.ts
@@ -6,9 +6,9 @@
 import { createTimetableChild } from './timetable/timetableChild.js';
 import type { Timetable } from './timetable/timetableChild.js';
 import type { LoadEffect, LoadEvent } from './types.js';
-import { buildRoutedChild } from '../standins/common/routedChild.js';
 import type { View } from '../standins/common/view.js';
 import type { Millis } from '../core/clock.js';
+import { buildRoutedChild } from '../core/supervision/routedChild.js';
 import type { ChildSpec } from '../core/supervision/types.js';
 
 /** States from which the result is built. */
@@ -35,7 +35,18 @@
   now: () => Millis,
   views: LoadViews,
 ): readonly ChildSpec<LoadEvent, LoadEffect>[] => [
-  buildRoutedChild('requests', () => createRequestsChild(scenario, run), views.requests.publish),
-  buildRoutedChild('samples', createSamplesChild, views.samples.publish),
-  buildRoutedChild('timetable', () => createTimetableChild(timetable, now)),
+  buildRoutedChild('requests', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createRequestsChild(scenario, run),
+    publish: views.requests.publish,
+  }),
+  buildRoutedChild('samples', {
+    rebuildsFrom: 'nothing',
+    createLogic: createSamplesChild,
+    publish: views.samples.publish,
+  }),
+  buildRoutedChild('timetable', {
+    rebuildsFrom: 'nothing',
+    createLogic: () => createTimetableChild(timetable, now),
+  }),
 ];
