--- /dev/null
+++ b/packages/decisions/configuration/fold.ts
@@ -0,0 +1,207 @@
+import { RECENT_RECORDS } from './constants.js';
+import type {
+  ConfigurationState,
+  ControlRecord,
+  EntityContent,
+  EntityEntry,
+  EntityKind,
+  EntityRecord,
+  FoldResult,
+  RawRecord,
+  SnapshotRecord,
+  Winner,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Offset } from '../../core/ids.js';
+
+/** Result of folding one record. */
+export interface Fold {
+  readonly state: ConfigurationState;
+  readonly result: FoldResult;
+}
+
+type Entities = ReadonlyMap<string, EntityEntry>;
+
+/**
+ * Creates the configuration of a process that has read nothing.
+ *
+ * @returns an empty configuration
+ */
+export const createConfiguration = (): ConfigurationState => ({
+  nextOffset: 0,
+  entities: new Map(),
+  recent: [],
+  standing: 'exact',
+  unbased: [],
+});
+
+/**
+ * Formats the key of an entity.
+ *
+ * @param kind - kind of its records
+ * @param entity - name
+ * @returns key in the state's map
+ */
+export const formatEntityKey = (kind: EntityKind, entity: string): string =>
+  `${kind}\u0000${entity}`;
+
+const toEntry = (record: EntityRecord, offset: Offset): EntityEntry => {
+  const { entity, author } = record;
+  const content = { kind: record.kind, body: record.body } as EntityContent;
+  return { ...content, entity, offset, author };
+};
+
+const toWinner = (entry: EntityEntry | undefined): Winner | null =>
+  entry === undefined ? null : { offset: entry.offset, author: entry.author };
+
+/** A move may be started again under its name only after the earlier one has ended. */
+const checkMove = (entities: Entities, record: EntityRecord): Winner | null => {
+  const known = entities.get(formatEntityKey('move', record.entity));
+  if (known === undefined) return null;
+  const ended = entities.get(formatEntityKey('move-ended', record.entity));
+  return ended !== undefined && ended.offset > known.offset ? null : toWinner(known);
+};
+
+/** The first terminal record of a move is final. */
+const checkMoveEnded = (entities: Entities, record: EntityRecord): Winner | 'no-move' | null => {
+  const move = entities.get(formatEntityKey('move', record.entity));
+  if (move === undefined) return 'no-move';
+  const ended = entities.get(formatEntityKey('move-ended', record.entity));
+  return ended !== undefined && ended.offset > move.offset ? toWinner(ended) : null;
+};
+
+const checkBase = (entities: Entities, record: EntityRecord): 'matches' | 'differs' => {
+  const known = entities.get(formatEntityKey(record.kind, record.entity));
+  return (known?.offset ?? null) === record.basedOn ? 'matches' : 'differs';
+};
+
+/** Tells whether a record takes effect, and who stands against it otherwise. */
+const checkRecord = (
+  entities: Entities,
+  record: EntityRecord,
+): { readonly kind: 'effective' } | { readonly kind: 'void'; readonly winner: Winner | null } => {
+  const known = entities.get(formatEntityKey(record.kind, record.entity));
+  switch (record.kind) {
+    case 'targets':
+    case 'data-centre':
+      return checkBase(entities, record) === 'matches'
+        ? { kind: 'effective' }
+        : { kind: 'void', winner: toWinner(known) };
+    case 'move': {
+      const running = checkMove(entities, record);
+      if (running !== null) return { kind: 'void', winner: running };
+      return checkBase(entities, record) === 'matches'
+        ? { kind: 'effective' }
+        : { kind: 'void', winner: toWinner(known) };
+    }
+    case 'move-ended': {
+      const winner = checkMoveEnded(entities, record);
+      if (winner === 'no-move') return { kind: 'void', winner: null };
+      return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
+    }
+    // Every daemon that sees the second crash appends one; a later expiry prolongs the first.
+    case 'quarantine':
+      return { kind: 'effective' };
+    default:
+      return assertNever(record);
+  }
+};
+
+const applyRecord = (
+  entities: Entities,
+  record: EntityRecord,
+  offset: Offset,
+): { readonly entities: Entities; readonly result: FoldResult } => {
+  const check = checkRecord(entities, record);
+  if (check.kind === 'void') {
+    return { entities, result: { kind: 'void', record, winner: check.winner } };
+  }
+  const entry = toEntry(record, offset);
+  const next = new Map(entities).set(formatEntityKey(record.kind, record.entity), entry);
+  return { entities: next, result: { kind: 'in-force', entry } };
+};
+
+const toEntities = (entries: readonly EntityEntry[]): Entities =>
+  new Map(entries.map((entry) => [formatEntityKey(entry.kind, entry.entity), entry]));
+
+/** A snapshot matters only to a process that missed the records behind it. */
+const applySnapshotRecord = (
+  state: ConfigurationState,
+  record: SnapshotRecord,
+): ConfigurationState => {
+  if (state.standing === 'exact') return state;
+  const newer = state.unbased.filter(({ offset }) => offset >= record.asOf);
+  const entities = newer.reduce<Entities>(
+    (base, { offset, record: unbased }) => applyRecord(base, unbased, offset).entities,
+    toEntities(record.entities),
+  );
+  return { ...state, entities, standing: 'exact', unbased: [] };
+};
+
+const applyControl = (state: ConfigurationState, record: ControlRecord, offset: Offset): Fold => {
+  if (record.kind === 'snapshot') {
+    return { state: applySnapshotRecord(state, record), result: { kind: 'snapshot' } };
+  }
+  if (state.standing === 'needs-snapshot') {
+    const unbased = [...state.unbased, { offset, record }];
+    return { state: { ...state, unbased }, result: { kind: 'known' } };
+  }
+  const { entities, result } = applyRecord(state.entities, record, offset);
+  return { state: { ...state, entities }, result };
+};
+
+/**
+ * Folds one record in log order. An offset that was folded before changes nothing.
+ *
+ * @param state - configuration
+ * @param raw - record as it was read
+ * @param record - the checked record; null for one that this version cannot read
+ * @returns the next configuration and what the record did
+ */
+export const foldControlRecord = (
+  state: ConfigurationState,
+  raw: RawRecord,
+  record: ControlRecord | null,
+): Fold => {
+  if (raw.offset < state.nextOffset) return { state, result: { kind: 'known' } };
+  const seen = {
+    ...state,
+    nextOffset: raw.offset + 1,
+    recent: [...state.recent, raw].slice(-RECENT_RECORDS),
+  };
+  if (record === null) return { state: seen, result: { kind: 'known' } };
+  return applyControl(seen, record, raw.offset);
+};
+
+/**
+ * Notes that the log holds no record below an offset any more.
+ *
+ * @param state - configuration
+ * @param firstOffset - oldest offset that the log holds
+ * @returns the configuration, waiting for a snapshot if unread records were dropped
+ */
+export const openGap = (state: ConfigurationState, firstOffset: Offset): ConfigurationState =>
+  firstOffset <= state.nextOffset
+    ? state
+    : {
+        ...state,
+        nextOffset: firstOffset,
+        recent: [],
+        standing: 'needs-snapshot',
+        unbased: [],
+      };
+
+/**
+ * Settles a gap for which the whole log holds no snapshot: nothing was ever in force before it.
+ *
+ * @param state - configuration whose reader has reached the end of the log
+ * @returns an exact configuration
+ */
+export const closeGap = (state: ConfigurationState): ConfigurationState => {
+  if (state.standing === 'exact') return state;
+  const entities = state.unbased.reduce<Entities>(
+    (base, { offset, record }) => applyRecord(base, record, offset).entities,
+    state.entities,
+  );
+  return { ...state, entities, standing: 'exact', unbased: [] };
+};
--- /dev/null
+++ b/packages/decisions/configuration/view.ts
@@ -0,0 +1,59 @@
+import { formatEntityKey } from './fold.js';
+import type {
+  ConfigurationState,
+  ConfigurationView,
+  EntityEntry,
+  MoveEndedBody,
+  MoveView,
+  PublishedClass,
+} from './types.js';
+import type { Offset } from '../../core/ids.js';
+
+type EntryOf<Kind extends EntityEntry['kind']> = Extract<EntityEntry, { readonly kind: Kind }>;
+
+const listOf = <Kind extends EntityEntry['kind']>(
+  state: ConfigurationState,
+  kind: Kind,
+): readonly EntryOf<Kind>[] =>
+  [...state.entities.values()].filter((entry): entry is EntryOf<Kind> => entry.kind === kind);
+
+const findEnd = (
+  state: ConfigurationState,
+  move: EntryOf<'move'>,
+): (MoveEndedBody & { readonly offset: Offset }) | null => {
+  const ended = state.entities.get(formatEntityKey('move-ended', move.entity));
+  if (ended?.kind !== 'move-ended' || ended.offset < move.offset) return null;
+  return { ...ended.body, offset: ended.offset };
+};
+
+const toMoveView = (state: ConfigurationState, move: EntryOf<'move'>): MoveView => ({
+  ...move.body,
+  offset: move.offset,
+  ended: findEnd(state, move),
+});
+
+/**
+ * Builds the configuration as other parts use it. Where two targets records name a class, the later
+ * one counts.
+ *
+ * @param state - configuration
+ * @returns the view
+ */
+export const buildView = (state: ConfigurationState): ConfigurationView => {
+  const classes = new Map<string, PublishedClass>();
+  const targets = [...listOf(state, 'targets')].sort((left, right) => left.offset - right.offset);
+  for (const { body } of targets) {
+    for (const published of body.classes) classes.set(published.className, published);
+  }
+  return {
+    offset: state.nextOffset,
+    classes,
+    dataCentresOut: listOf(state, 'data-centre')
+      .filter(({ body }) => body.state === 'out')
+      .map(({ entity }) => entity),
+    moves: listOf(state, 'move').map((move) => toMoveView(state, move)),
+    quarantined: new Map(
+      listOf(state, 'quarantine').map(({ entity, body }) => [entity, body.expiresAt]),
+    ),
+  };
+};
