--- a/packages/entry/classify.ts
+++ b/packages/entry/classify.ts
@@ -13,6 +13,7 @@
     case 'request-arrived':
       return 'new-request';
     case 'heartbeat-received':
+    case 'evidence-received':
       return 'report';
     case 'endpoint-completed':
     case 'caller-gone':
@@ -41,6 +42,7 @@
     case 'endpoint-lost':
     case 'drain-ended':
     case 'record-posted':
+    case 'records-folded':
     case 'operation-expired':
     case 'drain-started':
     case 'drain-checked':
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -16,6 +16,8 @@
 import type { EventDetails } from '../core/events/types.js';
 import type { EndpointId, GenerationId, Incarnation, Offset, RequestId } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
+import type { ProposedChange } from '../decisions/configuration/proposals.js';
+import type { FoldResult, Winner } from '../decisions/configuration/types.js';
 import type { ChainRecord, IntentTimer, AppendResult } from '../decisions/idempotency/types.js';
 import type { GenerationSource } from '../decisions/streams/types.js';
 
@@ -147,14 +149,23 @@
       readonly incarnation: Incarnation;
     }
   | { readonly to: 'requests'; readonly kind: 'tick' }
+  | { readonly to: 'requests'; readonly kind: 'configuration-updated' }
   | { readonly to: 'requests'; readonly kind: 'drain-ended' };
 
-/** Answer of the operator interface. */
-export interface OperatorReply {
-  readonly status: number;
-  readonly body: unknown;
+/** A record that was read back, by the nonce of its writer. */
+export interface FoldedRecord {
+  readonly nonce: string;
+  readonly offset: Offset;
+  readonly result: FoldResult;
 }
 
+/** Answer to an operator. */
+export type OperatorOutcome =
+  | { readonly kind: 'in-force'; readonly offset: Offset }
+  | { readonly kind: 'dry-run'; readonly change: ProposedChange }
+  | { readonly kind: 'lost'; readonly winner: Winner }
+  | { readonly kind: 'failed'; readonly failure: Failure };
+
 export type OperatorEvent =
   | {
       readonly to: 'operator';
@@ -170,9 +181,22 @@
       readonly operationId: string;
       readonly result: AppendResult;
     }
-  | { readonly to: 'operator'; readonly kind: 'configuration-updated' }
+  | {
+      readonly to: 'operator';
+      readonly kind: 'records-folded';
+      readonly folded: readonly FoldedRecord[];
+    }
   | { readonly to: 'operator'; readonly kind: 'operation-expired'; readonly operationId: string };
 
+export type MovesEvent =
+  | { readonly to: 'moves'; readonly kind: 'configuration-updated' }
+  | {
+      readonly to: 'moves';
+      readonly kind: 'evidence-received';
+      readonly heartbeat: ReceivedHeartbeat;
+    }
+  | { readonly to: 'moves'; readonly kind: 'tick' };
+
 export type FrontendEvent =
   | { readonly to: 'frontend'; readonly kind: 'request-arrived'; readonly request: CallerRequest }
   | { readonly to: 'frontend'; readonly kind: 'drain-started'; readonly reason: string }
@@ -186,6 +210,7 @@
   | MembershipEvent
   | RequestsEvent
   | OperatorEvent
+  | MovesEvent
   | FrontendEvent;
 
 export type EntryEffect =
@@ -248,7 +273,11 @@
       readonly source: GenerationSource;
       readonly nextNumber: number;
     }
-  | { readonly kind: 'reply-operator'; readonly operationId: string; readonly reply: OperatorReply }
+  | {
+      readonly kind: 'reply-operator';
+      readonly operationId: string;
+      readonly outcome: OperatorOutcome;
+    }
   | { readonly kind: 'notify-operators'; readonly notice: OperatorNotice }
   | { readonly kind: 'end-process'; readonly left: number };
 
--- /dev/null
+++ b/packages/entry/operator/operator.ts
@@ -0,0 +1,223 @@
+import { OPERATION_TIMEOUT_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { checkProposal, toEntityRecord } from '../../decisions/configuration/proposals.js';
+import { parseProposal } from '../../decisions/configuration/records.js';
+import type { Proposal } from '../../decisions/configuration/records.js';
+import type {
+  ConfigurationState,
+  FoldResult,
+  Winner,
+} from '../../decisions/configuration/types.js';
+import type { AppendResult } from '../../decisions/idempotency/types.js';
+import type { EntryEffect, OperatorEvent, OperatorOutcome } from '../events.js';
+
+export interface PendingRecord {
+  readonly kind: string;
+  readonly entity: string;
+  readonly author: string;
+}
+
+/** Records of operators that wait until they are read back from the log. */
+export interface OperatorState {
+  readonly pending: ReadonlyMap<string, PendingRecord>;
+}
+
+export interface OperatorInputs {
+  readonly getConfiguration: () => ConfigurationState;
+}
+
+type OperatorStep = Step<OperatorState, EntryEffect>;
+
+const replyWith = (operationId: string, outcome: OperatorOutcome): EntryEffect => ({
+  kind: 'reply-operator',
+  operationId,
+  outcome,
+});
+
+const logRefusal = (author: string, reason: string): EntryEffect => ({
+  kind: 'log',
+  name: 'operator-record-refused',
+  details: { data: { author, reason } },
+});
+
+const refuse = (
+  state: OperatorState,
+  operationId: string,
+  author: string,
+  failure: Failure,
+): OperatorStep =>
+  toStep(
+    state,
+    replyWith(operationId, { kind: 'failed', failure }),
+    logRefusal(author, failure.message),
+  );
+
+const replyLost = (operationId: string, author: string, winner: Winner): readonly EntryEffect[] => [
+  replyWith(operationId, { kind: 'lost', winner }),
+  logRefusal(author, `lost against offset ${winner.offset.toString()} by ${winner.author}`),
+];
+
+const appendProposal = (
+  state: OperatorState,
+  operationId: string,
+  author: string,
+  proposal: Proposal,
+): OperatorStep => {
+  const { kind, entity } = proposal;
+  const pending = new Map(state.pending).set(operationId, { kind, entity, author });
+  return toStep<OperatorState, EntryEffect>(
+    { pending },
+    {
+      kind: 'post',
+      event: {
+        to: 'appends',
+        kind: 'append-requested',
+        stream: 'control',
+        record: toEntityRecord(proposal, author, operationId),
+        owner: { kind: 'operator', operationId },
+      },
+    },
+    {
+      kind: 'schedule',
+      delayMs: OPERATION_TIMEOUT_MS,
+      event: { to: 'operator', kind: 'operation-expired', operationId },
+    },
+  );
+};
+
+const takeProposal = (
+  state: OperatorState,
+  event: Extract<OperatorEvent, { readonly kind: 'record-posted' }>,
+  inputs: OperatorInputs,
+): OperatorStep => {
+  const { operationId, author } = event;
+  const parsed = parseProposal(event.body);
+  if (parsed.isErr()) return refuse(state, operationId, author, parsed.error);
+  const check = checkProposal(inputs.getConfiguration(), parsed.value);
+  switch (check.kind) {
+    case 'refused':
+      return refuse(state, operationId, author, check.failure);
+    case 'lost':
+      return toStep(state, ...replyLost(operationId, author, check.winner));
+    case 'acceptable':
+      return event.run === 'dry'
+        ? toStep(state, replyWith(operationId, { kind: 'dry-run', change: check.change }))
+        : appendProposal(state, operationId, author, parsed.value);
+    default:
+      return assertNever(check);
+  }
+};
+
+const removePending = (state: OperatorState, operationId: string): OperatorState => {
+  const pending = new Map(state.pending);
+  pending.delete(operationId);
+  return { pending };
+};
+
+const handleAppend = (
+  state: OperatorState,
+  operationId: string,
+  result: AppendResult,
+): OperatorStep => {
+  const known = state.pending.get(operationId);
+  if (known === undefined) return toStep(state);
+  switch (result.kind) {
+    // The record counts once it is read back; only the log's order tells whether it is in force.
+    case 'appended':
+    case 'unknown':
+      return toStep(state, { kind: 'post', event: { to: 'control', kind: 'read-due' } });
+    case 'rejected': {
+      const failure = createFailure('not-run', 'log-unavailable', result.message);
+      return refuse(removePending(state, operationId), operationId, known.author, failure);
+    }
+    default:
+      return assertNever(result);
+  }
+};
+
+const settleFold = (
+  operationId: string,
+  known: PendingRecord,
+  result: FoldResult,
+): readonly EntryEffect[] => {
+  switch (result.kind) {
+    case 'in-force': {
+      const { offset } = result.entry;
+      const { kind, entity, author } = known;
+      return [
+        replyWith(operationId, { kind: 'in-force', offset }),
+        {
+          kind: 'log',
+          name: 'operator-record-accepted',
+          details: { entity, position: { stream: 'control', offset }, data: { kind, author } },
+        },
+      ];
+    }
+    case 'void': {
+      if (result.winner !== null) return replyLost(operationId, known.author, result.winner);
+      const text = 'the entity that the record is based on is not in force any more';
+      const failure = createFailure('not-run', 'lost-race', text);
+      return [replyWith(operationId, { kind: 'failed', failure })];
+    }
+    case 'snapshot':
+    case 'known':
+      return [];
+    default:
+      return assertNever(result);
+  }
+};
+
+const handleFolded = (
+  state: OperatorState,
+  event: Extract<OperatorEvent, { readonly kind: 'records-folded' }>,
+): OperatorStep => {
+  let next = state;
+  const effects: EntryEffect[] = [];
+  for (const { nonce, result } of event.folded) {
+    const known = next.pending.get(nonce);
+    if (known === undefined) continue;
+    effects.push(...settleFold(nonce, known, result));
+    next = removePending(next, nonce);
+  }
+  return toStep(next, ...effects);
+};
+
+const expireOperation = (state: OperatorState, operationId: string): OperatorStep => {
+  const known = state.pending.get(operationId);
+  if (known === undefined) return toStep(state);
+  const text = 'the log did not show the record in time; it may still come into force';
+  const failure = createFailure('may-have-run', 'log-unavailable', text);
+  return refuse(removePending(state, operationId), operationId, known.author, failure);
+};
+
+/**
+ * Creates the decisions of the `operator` child. A record is checked, appended, and answered for
+ * once it was read back.
+ *
+ * @param inputs - configuration in force
+ * @returns the child's logic
+ */
+export const createOperatorLogic = (
+  inputs: OperatorInputs,
+): ChildLogic<OperatorState, OperatorEvent, EntryEffect> => ({
+  init: () => toStep<OperatorState, EntryEffect>({ pending: new Map() }),
+  decide: (state, event) => {
+    switch (event.kind) {
+      case 'record-posted':
+        return takeProposal(state, event, inputs);
+      case 'append-ended':
+        return handleAppend(state, event.operationId, event.result);
+      case 'records-folded':
+        return handleFolded(state, event);
+      case 'operation-expired':
+        return expireOperation(state, event.operationId);
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/entry/operator/operatorRoutes.ts
@@ -0,0 +1,136 @@
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { assertNever } from '../../core/assertNever.js';
+import { createId } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type { ConfigurationState } from '../../decisions/configuration/types.js';
+import type { EntrySettings } from '../../settings/types.js';
+import { toProblem } from '../../wire/problem.js';
+import type { EntryEvent, OperatorOutcome } from '../events.js';
+import { createKeyTable } from '../frontend/authentication.js';
+
+type Operator = EntrySettings['operators'][number];
+
+/** One move as the operator interface shows it. */
+export interface MoveRow {
+  readonly name: string;
+  readonly model: string;
+  readonly from: string;
+  readonly to: string;
+  readonly deadline: number;
+  readonly share: number;
+  readonly state: string;
+  readonly reason?: string;
+}
+
+export interface OperatorRoutesOptions {
+  readonly operators: readonly Operator[];
+  readonly getConfiguration: () => ConfigurationState;
+  readonly listMoves: () => readonly MoveRow[];
+  readonly post: (event: EntryEvent) => 'queued' | 'shed';
+}
+
+/** Replies that wait for the loop. */
+export interface OperatorReplies {
+  readonly send: (operationId: string, outcome: OperatorOutcome) => void;
+}
+
+const UNPROCESSABLE = 422;
+
+const sendFailure = (reply: FastifyReply, failure: Failure, extra: object = {}): void => {
+  const problem = toProblem(failure, createId());
+  const status = failure.code === 'bad-request' ? UNPROCESSABLE : problem.status;
+  void reply
+    .code(status)
+    .type('application/problem+json')
+    .send({ ...problem, status, ...extra });
+};
+
+const sendOutcome = (reply: FastifyReply, outcome: OperatorOutcome): void => {
+  switch (outcome.kind) {
+    case 'in-force':
+      void reply.send({ result: 'in-force', offset: outcome.offset });
+      return;
+    case 'dry-run':
+      void reply.send({ result: 'dry-run', change: outcome.change });
+      return;
+    case 'lost': {
+      const { winner } = outcome;
+      const text = `${winner.author} changed it at offset ${winner.offset.toString()}`;
+      sendFailure(reply, createFailure('not-run', 'lost-race', text), { winner });
+      return;
+    }
+    case 'failed':
+      sendFailure(reply, outcome.failure);
+      return;
+    default:
+      assertNever(outcome);
+  }
+};
+
+const parseJson = (body: unknown): unknown => {
+  try {
+    return JSON.parse(body instanceof Buffer ? body.toString('utf8') : '') as unknown;
+  } catch {
+    return undefined;
+  }
+};
+
+/**
+ * Registers the operator interface: declarative records only.
+ *
+ * @param server - HTTP server of the daemon
+ * @param options - operators, configuration and the way into the loop
+ * @returns the replies that wait for the loop
+ */
+export const registerOperatorRoutes = (
+  server: FastifyInstance,
+  options: OperatorRoutesOptions,
+): OperatorReplies => {
+  const operators = createKeyTable<Operator>(options.operators);
+  const waiting = new Map<string, FastifyReply>();
+
+  const findOperator = (request: FastifyRequest, reply: FastifyReply): Operator | undefined => {
+    const operator = operators.findHolder(request.headers.authorization);
+    if (operator === undefined) {
+      const text = 'the operator key is missing or unknown';
+      sendFailure(reply, createFailure('not-run', 'unauthorized', text));
+    }
+    return operator;
+  };
+
+  server.get('/operator/configuration', (request, reply) => {
+    if (findOperator(request, reply) === undefined) return reply;
+    const { nextOffset, entities } = options.getConfiguration();
+    return reply.send({ offset: nextOffset, entities: [...entities.values()] });
+  });
+
+  server.get('/operator/moves', (request, reply) => {
+    if (findOperator(request, reply) === undefined) return reply;
+    return reply.send({ moves: options.listMoves() });
+  });
+
+  server.post<{ Querystring: { dryRun?: string } }>('/operator/records', (request, reply) => {
+    const operator = findOperator(request, reply);
+    if (operator === undefined) return reply;
+    const body = parseJson(request.body);
+    if (body === undefined) {
+      sendFailure(reply, createFailure('not-run', 'bad-request', 'the body is not JSON'));
+      return reply;
+    }
+    const operationId = createId();
+    waiting.set(operationId, reply);
+    const run = request.query.dryRun === 'true' ? 'dry' : 'real';
+    const author = operator.name;
+    options.post({ to: 'operator', kind: 'record-posted', operationId, author, body, run });
+    return reply;
+  });
+
+  return {
+    send: (operationId, outcome) => {
+      const reply = waiting.get(operationId);
+      waiting.delete(operationId);
+      if (reply !== undefined) sendOutcome(reply, outcome);
+    },
+  };
+};
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -1,4 +1,4 @@
-import type { EntryEffect, EntryEvent, OperatorNotice, OperatorReply } from './events.js';
+import type { EntryEffect, EntryEvent, OperatorNotice, OperatorOutcome } from './events.js';
 import type { Responders } from './frontend/responders.js';
 import type { TicketIssuer } from './frontend/tickets.js';
 import type { HeartbeatServer } from './membership/heartbeatServer.js';
@@ -20,7 +20,7 @@
   readonly heartbeats: HeartbeatServer;
   readonly platform: PlatformAdapter;
   readonly endpoints: EndpointClient;
-  readonly replyOperator: (operationId: string, reply: OperatorReply) => void;
+  readonly replyOperator: (operationId: string, outcome: OperatorOutcome) => void;
   readonly notifyOperators: (notice: OperatorNotice) => void;
   readonly endProcess: (left: number) => void;
 }
@@ -129,7 +129,7 @@
       transferStream(effect, adapters);
       return;
     case 'reply-operator':
-      adapters.replyOperator(effect.operationId, effect.reply);
+      adapters.replyOperator(effect.operationId, effect.outcome);
       return;
     case 'notify-operators':
       adapters.notifyOperators(effect.notice);
--- a/packages/entry/platform/constants.ts
+++ b/packages/entry/platform/constants.ts
@@ -35,3 +35,6 @@
 
 /** Time limit of asking a peer for its configuration. */
 export const PEER_TIMEOUT_MS = 2_000;
+
+/** Age of the newest snapshot at which another is due, whatever the offsets. */
+export const SNAPSHOT_MAX_AGE_MS = 3_600_000;
--- a/packages/entry/platform/supervisor.ts
+++ b/packages/entry/platform/supervisor.ts
@@ -1,15 +1,24 @@
 import type { AppendsState } from './appends/appends.js';
+import type { ControlState } from './control/control.js';
 import type { IntentsState } from './intents/intents.js';
 import type { ListState } from './list/list.js';
 import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { ChildLogic, SupervisorSpec } from '../../core/supervision/types.js';
-import type { AppendsEvent, EntryEffect, EntryEvent, IntentsEvent, ListEvent } from '../events.js';
+import type {
+  AppendsEvent,
+  ControlEvent,
+  EntryEffect,
+  EntryEvent,
+  IntentsEvent,
+  ListEvent,
+} from '../events.js';
 
 /** Published states of the platform node's children. */
 export interface PlatformStates {
   list: ListState;
   appends: AppendsState;
   intents: IntentsState;
+  control: ControlState;
 }
 
 /** Decisions of the platform node's children. */
@@ -17,6 +26,7 @@
   readonly list: ChildLogic<ListState, ListEvent, EntryEffect>;
   readonly appends: ChildLogic<AppendsState, AppendsEvent, EntryEffect>;
   readonly intents: ChildLogic<IntentsState, IntentsEvent, EntryEffect>;
+  readonly control: ChildLogic<ControlState, ControlEvent, EntryEffect>;
 }
 
 /**
@@ -55,6 +65,13 @@
         states.intents = state;
       },
     }),
+    buildRoutedChild<EntryEvent, 'control', ControlState, EntryEffect>('control', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.control,
+      publish: (state) => {
+        states.control = state;
+      },
+    }),
   ],
   route: (event) => event.to,
 });
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -315,6 +315,8 @@
       return handleFolded(state, inputs);
     case 'retry-due':
       return updateRequest(state, event.requestId, (known) => retryRequest(known, inputs));
+    case 'configuration-updated':
+      return drainQueue(state, inputs);
     case 'capacity-changed':
       inputs.own.settleReport(event.endpoint, event.reportedAt);
       return drainQueue(state, inputs);
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -7,21 +7,13 @@
   RequestId,
   VersionName,
 } from '../../core/ids.js';
+import type { PublishedClass } from '../../decisions/configuration/types.js';
 import type { IntentState } from '../../decisions/idempotency/types.js';
-import type { ClassTargets } from '../../decisions/placement/types.js';
 import type { DeliveryState } from '../../decisions/streams/types.js';
 import type { GenerationRequest, ResumeRequest, ServiceRequest } from '../types.js';
 
 /** What operators published for a class, or the defaults. */
-export interface ClassPolicy extends ClassTargets {
-  readonly firstTokenMs: Millis;
-  readonly tokenGapMs: Millis;
-  /** Gap between tokens from which on a stream counts as stalled. */
-  readonly stallMs: Millis;
-  readonly deadlineMs: Millis;
-  readonly repeat: 'allowed' | 'never';
-  readonly delivery: 'stream' | 'whole';
-}
+export type ClassPolicy = PublishedClass;
 
 /** Endpoint that holds a request now. */
 export interface Placed {
--- a/packages/entry/supervisor.ts
+++ b/packages/entry/supervisor.ts
@@ -3,10 +3,12 @@
   EntryEvent,
   FrontendEvent,
   MembershipEvent,
+  OperatorEvent,
   RequestsEvent,
 } from './events.js';
 import type { GateState } from './frontend/gate.js';
 import type { MembershipState } from './membership/types.js';
+import type { OperatorState } from './operator/operator.js';
 import { createPlatformSupervisor } from './platform/supervisor.js';
 import type { PlatformLogics, PlatformStates } from './platform/supervisor.js';
 import type { RequestsState } from './requests/types.js';
@@ -20,6 +22,7 @@
 export interface EntryStates extends PlatformStates {
   membership: MembershipState;
   requests: RequestsState;
+  operator: OperatorState;
   frontend: GateState;
 }
 
@@ -27,10 +30,11 @@
 export interface EntryLogics extends PlatformLogics {
   readonly membership: ChildLogic<MembershipState, MembershipEvent, EntryEffect>;
   readonly requests: ChildLogic<RequestsState, RequestsEvent, EntryEffect>;
+  readonly operator: ChildLogic<OperatorState, OperatorEvent, EntryEffect>;
   readonly frontend: ChildLogic<GateState, FrontendEvent, EntryEffect>;
 }
 
-type RootChild = 'platform' | 'membership' | 'requests' | 'operator' | 'frontend';
+type RootChild = 'platform' | 'membership' | 'requests' | 'moves' | 'operator' | 'frontend';
 
 const routeEvent = (event: EntryEvent): RootChild => {
   switch (event.to) {
@@ -42,6 +46,7 @@
     case 'membership':
     case 'requests':
     case 'operator':
+    case 'moves':
     case 'frontend':
       return event.to;
     default:
@@ -91,6 +96,13 @@
         states.requests = state;
       },
     }),
+    buildRoutedChild<EntryEvent, 'operator', OperatorState, EntryEffect>('operator', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.operator,
+      publish: (state) => {
+        states.operator = state;
+      },
+    }),
     buildRoutedChild<EntryEvent, 'frontend', GateState, EntryEffect>('frontend', {
       rebuildsFrom: 'nothing',
       createLogic: () => logics.frontend,
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -2,7 +2,7 @@
 import type { AwilixContainer } from 'awilix';
 import type { FastifyInstance } from 'fastify';
 import { classifyEvent } from './classify.js';
-import type { EntryEffect, EntryEvent } from './events.js';
+import type { EntryEffect, EntryEvent, OperatorOutcome } from './events.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import { HAND_OVER_MS } from './frontend/constants.js';
 import { createGateLogic } from './frontend/gate.js';
@@ -13,9 +13,13 @@
 import { createHeartbeatServer } from './membership/heartbeatServer.js';
 import type { HeartbeatServer } from './membership/heartbeatServer.js';
 import { createMembershipLogic, listViews } from './membership/membership.js';
+import { createOperatorLogic } from './operator/operator.js';
+import { registerOperatorRoutes } from './operator/operatorRoutes.js';
+import type { OperatorReplies } from './operator/operatorRoutes.js';
 import { performEffect } from './perform.js';
 import { createAppendsLogic } from './platform/appends/appends.js';
 import { LOG_TIMEOUT_MS } from './platform/constants.js';
+import { createControlLogic } from './platform/control/control.js';
 import { createIntentsLogic } from './platform/intents/intents.js';
 import { createListLogic } from './platform/list/list.js';
 import { createPlatformAdapter } from './platform/platformAdapter.js';
@@ -40,6 +44,7 @@
 import type { Daemon } from '../core/supervision/daemon.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import type { ChildFailure } from '../core/supervision/types.js';
+import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { findChain } from '../decisions/idempotency/table.js';
 import { createOwnTable } from '../decisions/placement/own.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
@@ -69,6 +74,8 @@
   readonly requestsInputs: RequestsInputs;
   readonly logics: EntryLogics;
   readonly callers: FastifyInstance;
+  /** Set when the callers' server registers the operator interface. */
+  readonly operatorReplies: { current: OperatorReplies | null };
   readonly daemon: Daemon<EntryEvent>;
 }
 
@@ -121,7 +128,7 @@
     policy: settings.policy,
     limits: settings.limits,
     getCustomerDefault: (customer) => customers.get(customer)?.defaultClass,
-    getClasses: () => new Map(),
+    getClasses: () => states.control.view.classes,
     listEndpoints: () => listViews(states.membership, clock.now()),
     findUrl: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report.rpcUrl,
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
@@ -142,9 +149,17 @@
     list: createListLogic(settings.instance),
     appends: createAppendsLogic(now),
     intents: createIntentsLogic({ now, keys: settings.limits }),
+    control: createControlLogic({
+      now,
+      createId,
+      process: settings.process,
+      listPeers: () => listPeerUrls(states, settings.instance),
+      choosePeer: (peers) => peers[Math.floor(requestsInputs.random.next() * peers.length)],
+    }),
+    operator: createOperatorLogic({ getConfiguration: () => states.control.configuration }),
     membership: createMembershipLogic({
       now,
-      getDelta: () => ({ watermark: 0, records: [], snapshot: null }),
+      getDelta: (offset) => decideDelta(states.control.configuration, offset),
     }),
     requests: createRequestsLogic(requestsInputs),
     frontend: createGateLogic({
@@ -156,9 +171,14 @@
   };
 };
 
+const listPeerUrls = (states: EntryStates, instance: string): readonly string[] =>
+  states.list.instances
+    .filter(({ id, role, state }) => role === 'entry' && id !== instance && state === 'live')
+    .map(({ httpUrl }) => httpUrl);
+
 const getUnreadyReason = (states: EntryStates): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
-  if (states.list.list === 'unread') return 'the instance list was not read yet';
+  if (states.control.source === 'none') return 'the configuration was not read yet';
   return states.membership.views.size === 0 ? 'no endpoint is known' : null;
 };
 
@@ -175,6 +195,13 @@
     },
     listModels: () => settings.models,
   });
+  server.get('/peer/configuration', () => toSnapshot(states.control.configuration));
+  cradle.operatorReplies.current = registerOperatorRoutes(server, {
+    operators: settings.operators,
+    getConfiguration: () => states.control.configuration,
+    listMoves: () => [],
+    post: (event) => cradle.daemon.loop.post(event),
+  });
   registerInspectionPages(server, {
     process: settings.process,
     role: 'entry',
@@ -197,7 +224,9 @@
     heartbeats: cradle.heartbeats,
     platform: cradle.platform,
     endpoints: cradle.endpoints,
-    replyOperator: () => undefined,
+    replyOperator: (operationId: string, outcome: OperatorOutcome) => {
+      cradle.operatorReplies.current?.send(operationId, outcome);
+    },
     notifyOperators: () => undefined,
     endProcess: (left: number) => {
       cradle.onEnd({ kind: 'drained', left });
@@ -251,6 +280,7 @@
     endpoints: asFunction(buildEndpoints).singleton(),
     requestsInputs: asFunction(buildRequestsInputs).singleton(),
     logics: asFunction(buildLogics).singleton(),
+    operatorReplies: asValue({ current: null }),
     callers: asFunction(buildCallers).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
   });
