--- /dev/null
+++ b/packages/decisions/idempotency/atMostOnce.promise.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { buildCommandList, runCommands } from './testing/fuzz.js';
+import type { Mechanisms, Statistics } from './testing/types.js';
+import { createWorld } from './testing/world.js';
+
+// A longer run: FUZZ_SEED=7 FUZZ_RUNS=100000 npx ava <this file> --timeout=1h
+const SEED = Number(process.env['FUZZ_SEED'] ?? 20_261_204);
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 1_500);
+
+const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+
+const addStatistics = (sum: Statistics, next: Statistics): void => {
+  for (const name of Object.keys(sum) as (keyof Statistics)[]) sum[name] += next[name];
+};
+
+for (const profile of ['faults', 'retention'] as const) {
+  // Guards against a request that runs twice, a not-run that ran, and a ran that did not, under
+  // outages, lost answers, late appends, pauses, restarts and retention.
+  test(`a key runs at most once and every verdict is true (${profile})`, (t) => {
+    const sum = createWorld(KEPT).statistics;
+    fc.assert(
+      fc.property(buildCommandList(profile), (commands) => {
+        const world = runCommands(commands, KEPT);
+        addStatistics(sum, world.statistics);
+        if (world.violations.length > 0) throw new Error(world.violations.join('; '));
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+    t.log(JSON.stringify(sum));
+    // A run in which nothing happens would pass as well.
+    for (const name of Object.keys(sum) as (keyof Statistics)[])
+      t.true(sum[name] > RUNS / 10, name);
+  });
+}
+
+for (const name of ['fence', 'readBack', 'carryForward'] as const) {
+  // Guards against an oracle or a command list that would not notice the missing mechanism.
+  test(`with ${name} disabled the oracle finds a key that ran twice`, (t) => {
+    const mechanisms: Mechanisms = { ...KEPT, [name]: 'disabled' };
+    const details = fc.check(
+      fc.property(buildCommandList('retention'), (commands) => {
+        const { violations } = runCommands(commands, mechanisms);
+        return !violations.some((violation) => /^key .* ran \d+ times$/.test(violation));
+      }),
+      { seed: SEED, numRuns: Math.max(RUNS, 1_500), endOnFailure: true },
+    );
+    t.true(details.failed);
+    t.log(`found after ${details.numRuns.toString()} runs`);
+  });
+}
--- /dev/null
+++ b/packages/decisions/idempotency/constants.ts
@@ -0,0 +1,38 @@
+import type { IntentLimits, KeySettings, NonceSettings } from './types.js';
+import type { Millis } from '../../core/clock.js';
+
+/** Format of the records that this version writes and reads. */
+export const INTENT_FORMAT = 1 as const;
+
+/**
+ * Clock difference between two daemons that the expiry of keys allows for. A chain is kept this
+ * much longer than its key is accepted, so no daemon accepts a key whose chain another one dropped.
+ */
+export const CLOCK_MARGIN_MS: Millis = 5 * 60_000;
+
+/** Early abandoned nonces remembered per key; a forgotten one only costs a fence. */
+export const MAX_EARLY_ABANDONED = 8;
+
+/** Share of starts that fences may exceed the bound of the nonce table by, so that keys can be settled when it is full. */
+export const FENCE_HEADROOM = 1.25;
+
+export const DEFAULT_KEY_SETTINGS: KeySettings = {
+  keyWindowMs: 24 * 3_600_000,
+  maxUntimedKeys: 100_000,
+};
+
+export const DEFAULT_INTENT_LIMITS: IntentLimits = {
+  settleMs: 3_000,
+  pollMs: 200,
+  takeOverAfterMs: 1_000,
+  maxIntents: 3,
+  maxRecordTries: 6,
+  recordRetryMs: 1_000,
+};
+
+export const DEFAULT_NONCE_SETTINGS: NonceSettings = {
+  windowMs: 24 * 3_600_000,
+  answerKeepMs: 15 * 60_000,
+  maxAnswerBytes: 32 * 1024 * 1024,
+  maxEntries: 200_000,
+};
--- /dev/null
+++ b/packages/decisions/idempotency/fencing.ts
@@ -0,0 +1,121 @@
+import { closeWithOutcome, resolveChain, closeRequest, schedule } from './intentSteps.js';
+import type { IntentStep, StateOf } from './intentSteps.js';
+import type { FencePurpose, FenceResult, IntentEffect, IntentView } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure, FailureCode } from '../../core/verdict.js';
+
+type Fencing = StateOf<'fencing'>;
+
+/** The chain says that the key ran, and its answer cannot be had. */
+const replyFromChain = (state: Fencing, view: IntentView): IntentStep => {
+  const standing = view.chain?.link?.standing;
+  const outcome = standing?.kind === 'closed' ? standing : { status: null, bodyDigest: null };
+  const { status, bodyDigest } = outcome;
+  return closeRequest(state, { kind: 'answer-digest', status, bodyDigest });
+};
+
+/** The nonce can never start, so the chain may go on. */
+const resumeChain = (state: Fencing, view: IntentView): IntentStep =>
+  state.purpose === 'replay'
+    ? replyFromChain(state, view)
+    : resolveChain({ ...state, dead: [...state.dead, state.place.nonce] }, view);
+
+const replyFinished = (
+  state: Fencing,
+  result: Extract<FenceResult, { kind: 'finished' }>,
+  view: IntentView,
+): IntentStep => {
+  const { answer, status, bodyDigest } = result;
+  const effect: IntentEffect =
+    answer === null
+      ? { kind: 'answer-digest', status, bodyDigest }
+      : { kind: 'answer', answer, source: 'stored' };
+  const outcome = { verdict: 'ran', status, bodyDigest } as const;
+  return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+};
+
+const toUnresolved = (
+  purpose: FencePurpose,
+  own: FailureCode,
+  other: FailureCode,
+  message: string,
+): Failure => createFailure('may-have-run', purpose === 'take-over' ? other : own, message);
+
+const schedulePoll = (state: Fencing, view: IntentView, failure: Failure): IntentStep => {
+  if (view.now < state.request.deadlineAt) return schedule(state, 'poll', view.limits.pollMs);
+  return closeRequest(state, { kind: 'fail', failure });
+};
+
+const handleStarted = (state: Fencing, view: IntentView): IntentStep => {
+  if (state.purpose === 'replay') return replyFromChain(state, view);
+  const message = 'the request is still running';
+  const failure = toUnresolved(state.purpose, 'deadline-exceeded', 'key-in-flight', message);
+  return schedulePoll(state, view, failure);
+};
+
+const handleUnknownIncarnation = (state: Fencing, view: IntentView): IntentStep => {
+  switch (state.purpose) {
+    case 'replay':
+      return replyFromChain(state, view);
+    case 'own-refused':
+      // The endpoint daemon said not-run, and this request dispatches a nonce only once.
+      return resumeChain(state, view);
+    case 'own-unknown':
+    case 'take-over': {
+      const message = 'the endpoint that could have run the request is gone';
+      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      const outcome = { verdict: 'may-have-run', status: null, bodyDigest: null } as const;
+      const effect = { kind: 'fail', failure } as const;
+      return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+    }
+    default:
+      return assertNever(state.purpose);
+  }
+};
+
+const handleUnreachable = (state: Fencing, view: IntentView): IntentStep => {
+  switch (state.purpose) {
+    case 'replay':
+      return replyFromChain(state, view);
+    case 'own-refused':
+      return resumeChain(state, view);
+    case 'own-unknown':
+    case 'take-over': {
+      const message = 'the endpoint that could have run the request does not answer';
+      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      return schedulePoll(state, view, failure);
+    }
+    default:
+      return assertNever(state.purpose);
+  }
+};
+
+/**
+ * Decides what follows from the reply of an endpoint daemon about a nonce.
+ *
+ * @param state - state that asked
+ * @param result - the reply, or `unreachable`
+ * @param view - current view
+ * @returns the next step
+ */
+export const decideFenceAnswer = (
+  state: Fencing,
+  result: FenceResult,
+  view: IntentView,
+): IntentStep => {
+  switch (result.kind) {
+    case 'fenced':
+      return resumeChain(state, view);
+    case 'started':
+      return handleStarted(state, view);
+    case 'finished':
+      return replyFinished(state, result, view);
+    case 'unknown-incarnation':
+      return handleUnknownIncarnation(state, view);
+    case 'unreachable':
+      return handleUnreachable(state, view);
+    default:
+      return assertNever(result);
+  }
+};
--- /dev/null
+++ b/packages/decisions/idempotency/intent.ts
@@ -0,0 +1,246 @@
+import { decideFenceAnswer } from './fencing.js';
+import { checkKey } from './keys.js';
+import {
+  cancelIntent,
+  appendIntent,
+  fenceAtEndpoint,
+  closeWithOutcome,
+  resolveChain,
+  failNotRun,
+  closeRequest,
+  schedule,
+} from './intentSteps.js';
+import type { IntentStep, StateOf } from './intentSteps.js';
+import type {
+  AppendResult,
+  DispatchResult,
+  IntentEffect,
+  IntentEvent,
+  IntentRequest,
+  IntentState,
+  IntentView,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+
+/**
+ * Creates the state of a request under a key.
+ *
+ * @param request - the request and its deadline
+ * @returns the state before the `start` event
+ */
+export const createIntentState = (request: IntentRequest): IntentState => ({
+  kind: 'checking',
+  request,
+  dead: [],
+  refusedBy: [],
+  intents: 0,
+  round: 0,
+  lastFailure: null,
+});
+
+const startRequest = (state: IntentState, view: IntentView): IntentStep => {
+  const check = checkKey(state.request, view.chain, view.untimedKeys, view.now, view.keys);
+  if (check.isErr()) return closeRequest(state, { kind: 'fail', failure: check.error });
+  return resolveChain(state, view);
+};
+
+const failUnsettled = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
+  const message = 'the log did not show the intent in time, so the request was not started';
+  const failure = createFailure('not-run', 'log-unavailable', message);
+  return cancelIntent(state, view, { kind: 'fail', failure });
+};
+
+/** Looks whether the own intent was read back as active, was overtaken, or is still missing. */
+const settleIntent = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
+  if (view.standing !== 'exact') return toStep(state);
+  const { place, previous, append } = state;
+  const link = view.chain?.link ?? null;
+  if (link?.nonce === place.nonce) {
+    if (link.standing.kind !== 'open') return resolveChain(state, view);
+    if (view.now >= state.request.deadlineAt) return failUnsettled(state, view);
+    return toStep({ ...state, kind: 'dispatched', place }, { kind: 'dispatch', ...place });
+  }
+  // The chain has moved on and never returns to an earlier nonce, so the own intent is void even
+  // when it lands later.
+  if ((link?.nonce ?? null) !== previous) {
+    return resolveChain({ ...state, dead: [...state.dead, place.nonce] }, view);
+  }
+  if (append.kind === 'appended' && view.nextOffset > append.offset) {
+    const failure = createFailure('not-run', 'key-expired', 'the log did not accept the key');
+    return failNotRun(state, failure, view);
+  }
+  return toStep(state);
+};
+
+const handleIntentAppend = (
+  state: StateOf<'settling'>,
+  result: AppendResult,
+  view: IntentView,
+): IntentStep => {
+  switch (result.kind) {
+    case 'rejected':
+      return failNotRun(
+        state,
+        createFailure('not-run', 'log-unavailable', result.message, result.retryAfterMs),
+        view,
+      );
+    case 'appended':
+    case 'unknown': {
+      const append =
+        result.kind === 'appended'
+          ? ({ kind: 'appended', offset: result.offset } as const)
+          : ({ kind: 'unknown' } as const);
+      const step = settleIntent({ ...state, append }, view);
+      if (step.state.kind !== 'settling') return step;
+      return toStep(step.state, { kind: 'read-stream' });
+    }
+    default:
+      return assertNever(result);
+  }
+};
+
+const handleRecordAppend = (
+  state: StateOf<'recording'>,
+  result: AppendResult,
+  view: IntentView,
+): IntentStep => {
+  if (result.kind === 'appended' || state.tries >= view.limits.maxRecordTries) {
+    return closeRequest(state);
+  }
+  return schedule(state, 'record', view.limits.recordRetryMs);
+};
+
+const handleAppend = (
+  state: IntentState,
+  event: Extract<IntentEvent, { kind: 'append-answered' }>,
+  view: IntentView,
+): IntentStep => {
+  if (state.kind === 'settling') {
+    const own = event.of === 'intent' && event.nonce === state.place.nonce;
+    return own ? handleIntentAppend(state, event.result, view) : toStep(state);
+  }
+  if (state.kind === 'recording') {
+    const [record] = state.records;
+    const own = record.kind === event.of && record.nonce === event.nonce;
+    return own ? handleRecordAppend(state, event.result, view) : toStep(state);
+  }
+  return toStep(state);
+};
+
+const handleDispatchEnd = (
+  state: StateOf<'dispatched'>,
+  result: DispatchResult,
+  view: IntentView,
+): IntentStep => {
+  switch (result.kind) {
+    case 'answered': {
+      const { status, bodyDigest } = result.answer;
+      const effect: IntentEffect = { kind: 'answer', answer: result.answer, source: 'own' };
+      const outcome = { verdict: 'ran', status, bodyDigest } as const;
+      return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+    }
+    case 'refused': {
+      const refusedBy = [...state.refusedBy, state.place.endpoint];
+      const next = { ...state, refusedBy, lastFailure: result.failure };
+      return fenceAtEndpoint(next, state.place, 'own-refused');
+    }
+    case 'unknown':
+      return fenceAtEndpoint({ ...state, lastFailure: result.failure }, state.place, 'own-unknown');
+    default:
+      return assertNever(result);
+  }
+};
+
+const handleTimer = (state: IntentState, view: IntentView): IntentStep => {
+  switch (state.kind) {
+    case 'settling': {
+      const step = settleIntent(state, view);
+      return step.state.kind === 'settling' ? failUnsettled(state, view) : step;
+    }
+    case 'waiting':
+      return resolveChain(state, view);
+    case 'fencing':
+      return fenceAtEndpoint(state, state.place, state.purpose);
+    case 'recording':
+      return toStep(
+        { ...state, tries: state.tries + 1 },
+        { kind: 'append-records', records: state.records },
+      );
+    case 'checking':
+    case 'choosing':
+    case 'dispatched':
+    case 'finished':
+      return toStep(state);
+    default:
+      return assertNever(state);
+  }
+};
+
+const handleFolded = (state: IntentState, view: IntentView): IntentStep => {
+  if (state.kind === 'settling') return settleIntent(state, view);
+  return state.kind === 'waiting' ? resolveChain(state, view) : toStep(state);
+};
+
+/** Before the dispatch the request is withdrawn; after it the answer is still recorded. */
+const handleCallerGone = (state: IntentState, view: IntentView): IntentStep => {
+  switch (state.kind) {
+    case 'settling':
+      return cancelIntent(state, view);
+    case 'checking':
+    case 'waiting':
+    case 'choosing':
+      return closeRequest(state);
+    case 'dispatched':
+    case 'fencing':
+    case 'recording':
+    case 'finished':
+      return toStep(state);
+    default:
+      return assertNever(state);
+  }
+};
+
+/**
+ * Decides the next step of a request that runs at most once. Only a nonce that was read back as
+ * active is dispatched, and only once; a nonce is replaced only after it can never start.
+ *
+ * @param state - state of the request
+ * @param event - what happened
+ * @param view - time, log and the key's chain as they are now
+ * @returns the next state and the effects to carry out
+ */
+export const decideIntent = (
+  state: IntentState,
+  event: IntentEvent,
+  view: IntentView,
+): IntentStep => {
+  switch (event.kind) {
+    case 'start':
+      return state.kind === 'checking' ? startRequest(state, view) : toStep(state);
+    case 'endpoint-chosen':
+      if (state.kind !== 'choosing') return toStep(state);
+      return appendIntent(state, event.target, event.nonce, view);
+    case 'endpoint-unavailable':
+      return state.kind === 'choosing' ? failNotRun(state, event.failure, view) : toStep(state);
+    case 'append-answered':
+      return handleAppend(state, event, view);
+    case 'folded':
+      return handleFolded(state, view);
+    case 'timer':
+      return event.round === state.round ? handleTimer(state, view) : toStep(state);
+    case 'dispatch-ended': {
+      const own = state.kind === 'dispatched' && state.place.nonce === event.nonce;
+      return own ? handleDispatchEnd(state, event.result, view) : toStep(state);
+    }
+    case 'fence-answered': {
+      const own = state.kind === 'fencing' && state.place.nonce === event.nonce;
+      return own ? decideFenceAnswer(state, event.result, view) : toStep(state);
+    }
+    case 'caller-gone':
+      return handleCallerGone(state, view);
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -0,0 +1,326 @@
+import { INTENT_FORMAT } from './constants.js';
+import { checkChain } from './keys.js';
+import type {
+  AbandonedRecord,
+  ChainLink,
+  ChainRecord,
+  FencePurpose,
+  IntentEffect,
+  IntentRecord,
+  IntentState,
+  IntentTimer,
+  IntentView,
+  Nonce,
+  NoncePlace,
+  Outcome,
+  OutcomeRecord,
+  Target,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+
+export type IntentStep = Step<IntentState, IntentEffect>;
+
+/** State of one phase. */
+export type StateOf<Kind extends IntentState['kind']> = Extract<IntentState, { kind: Kind }>;
+
+type Base = Omit<StateOf<'finished'>, 'kind'>;
+
+/** Keeps what every phase has. */
+const toBase = ({ request, dead, refusedBy, intents, round, lastFailure }: IntentState): Base => ({
+  request,
+  dead,
+  refusedBy,
+  intents,
+  round,
+  lastFailure,
+});
+
+const toRecordOfKey = (state: IntentState, view: IntentView) => ({
+  format: INTENT_FORMAT,
+  customer: state.request.customer,
+  key: state.request.key,
+  issuedAt: state.request.issuedAt,
+  at: view.now,
+});
+
+const toAbandoned = (state: IntentState, nonce: Nonce, view: IntentView): AbandonedRecord => ({
+  kind: 'abandoned',
+  ...toRecordOfKey(state, view),
+  nonce,
+});
+
+const toOutcome = (
+  state: IntentState,
+  nonce: Nonce,
+  outcome: Outcome,
+  view: IntentView,
+): OutcomeRecord => ({ kind: 'outcome', ...toRecordOfKey(state, view), nonce, ...outcome });
+
+/**
+ * Ends a request without more records.
+ *
+ * @param state - state of the request
+ * @param effects - what the caller is told, if anything
+ * @returns the finished state
+ */
+export const closeRequest = (state: IntentState, ...effects: readonly IntentEffect[]): IntentStep =>
+  toStep({ ...toBase(state), kind: 'finished' }, ...effects);
+
+/**
+ * Starts a timer whose round makes earlier timers stale.
+ *
+ * @param state - state of the request
+ * @param timer - what the timer is for
+ * @param delayMs - delay in milliseconds
+ * @param effects - effects to carry out before
+ * @returns the state with the new round
+ */
+export const schedule = (
+  state: IntentState,
+  timer: IntentTimer,
+  delayMs: Millis,
+  ...effects: readonly IntentEffect[]
+): IntentStep => {
+  const round = state.round + 1;
+  return toStep({ ...state, round }, ...effects, { kind: 'schedule', timer, round, delayMs });
+};
+
+/**
+ * Appends a record whose repetition is harmless, after the caller was answered.
+ *
+ * @param state - state of the request
+ * @param record - outcome or abandoned record
+ * @param effects - what the caller is told
+ * @returns the recording state
+ */
+export const recordInBackground = (
+  state: IntentState,
+  record: ChainRecord,
+  ...effects: readonly IntentEffect[]
+): IntentStep =>
+  toStep({ ...toBase(state), kind: 'recording', records: [record], tries: 1 }, ...effects, {
+    kind: 'append-records',
+    records: [record],
+  });
+
+/**
+ * Tells the caller the result of a nonce and records it unless the chain is closed already.
+ *
+ * @param state - state of the request
+ * @param nonce - the nonce with a result
+ * @param outcome - the result
+ * @param view - current view
+ * @param effect - what the caller is told
+ * @returns the recording or finished state
+ */
+export const closeWithOutcome = (
+  state: IntentState,
+  nonce: Nonce,
+  outcome: Outcome,
+  view: IntentView,
+  effect: IntentEffect,
+): IntentStep => {
+  if (view.chain?.link?.standing.kind === 'closed') return closeRequest(state, effect);
+  return recordInBackground(state, toOutcome(state, nonce, outcome, view), effect);
+};
+
+/**
+ * Refuses a request none of whose nonces can start any more. When one of them is still the active
+ * intent, an abandoned record frees the key for others.
+ *
+ * @param state - state of the request
+ * @param failure - reason; its verdict becomes `not-run`
+ * @param view - current view
+ * @returns the recording or finished state
+ */
+export const failNotRun = (state: IntentState, failure: Failure, view: IntentView): IntentStep => {
+  const effect: IntentEffect = { kind: 'fail', failure: { ...failure, verdict: 'not-run' } };
+  const link = view.chain?.link;
+  const blocked = link?.standing.kind === 'open' && state.dead.includes(link.nonce);
+  if (!blocked) return closeRequest(state, effect);
+  return recordInBackground(state, toAbandoned(state, link.nonce, view), effect);
+};
+
+/**
+ * Withdraws an own intent that was not dispatched, with the promise never to dispatch it.
+ *
+ * @param state - state with an unresolved or unread append
+ * @param view - current view
+ * @param effects - what the caller is told
+ * @returns the recording state
+ */
+export const cancelIntent = (
+  state: StateOf<'settling'>,
+  view: IntentView,
+  ...effects: readonly IntentEffect[]
+): IntentStep => recordInBackground(state, toAbandoned(state, state.place.nonce, view), ...effects);
+
+/**
+ * Asks an endpoint daemon to fence a nonce or to tell how far it got.
+ *
+ * @param state - state of the request
+ * @param place - the nonce and the incarnation that could start it
+ * @param purpose - what follows from the reply
+ * @returns the fencing state
+ */
+export const fenceAtEndpoint = (
+  state: IntentState,
+  place: NoncePlace,
+  purpose: FencePurpose,
+): IntentStep =>
+  toStep(
+    { ...toBase(state), kind: 'fencing', round: state.round + 1, place, purpose },
+    { kind: 'fence', ...place },
+  );
+
+const toPlace = ({ nonce, endpoint, incarnation }: ChainLink): NoncePlace => ({
+  nonce,
+  endpoint,
+  incarnation,
+});
+
+/** Leaves a young intent of another daemon alone, then asks its endpoint daemon. */
+const waitForOther = (state: IntentState, link: ChainLink, view: IntentView): IntentStep => {
+  if (view.log === 'out') {
+    // A fence would stop the other request, and nothing could be appended after it.
+    const message = 'another request holds the key and the log does not answer';
+    const failure = createFailure('may-have-run', 'key-unresolved', message);
+    return closeRequest(state, { kind: 'fail', failure });
+  }
+  const { takeOverAfterMs } = view.limits;
+  if (state.kind === 'waiting' && state.nonce === link.nonce) {
+    if (view.now < state.until) return toStep(state);
+    return fenceAtEndpoint(state, toPlace(link), 'take-over');
+  }
+  const delayMs = Math.min(takeOverAfterMs, link.at + takeOverAfterMs - view.now);
+  if (delayMs <= 0) return fenceAtEndpoint(state, toPlace(link), 'take-over');
+  const until = view.now + delayMs;
+  return schedule({ ...toBase(state), kind: 'waiting', nonce: link.nonce, until }, 'wait', delayMs);
+};
+
+const chooseEndpoint = (state: IntentState, view: IntentView): IntentStep => {
+  if (view.log === 'out' || view.standing !== 'exact') {
+    const message = 'the log does not answer, so a request that runs at most once cannot start';
+    return failNotRun(state, createFailure('not-run', 'log-unavailable', message), view);
+  }
+  if (state.intents >= view.limits.maxIntents) {
+    const failure = createFailure('not-run', 'endpoint-failed', 'no endpoint started the request');
+    return failNotRun(state, state.lastFailure ?? failure, view);
+  }
+  return toStep(
+    { ...toBase(state), kind: 'choosing' },
+    { kind: 'choose-endpoint', exclude: state.refusedBy },
+  );
+};
+
+/** Whether a new intent may follow the chain's active one. */
+const isReplaceable = (state: IntentState, link: ChainLink | null): boolean => {
+  if (link === null) return true;
+  switch (link.standing.kind) {
+    case 'abandoned':
+      return true;
+    case 'open':
+      return state.dead.includes(link.nonce);
+    case 'closed':
+      return false;
+    default:
+      return assertNever(link.standing);
+  }
+};
+
+const decideClosed = (state: IntentState, link: ChainLink, outcome: Outcome): IntentStep => {
+  switch (outcome.verdict) {
+    case 'ran':
+      return fenceAtEndpoint(state, toPlace(link), 'replay');
+    case 'may-have-run': {
+      const message = 'whether the request ran cannot be known any more';
+      const failure = createFailure('may-have-run', 'key-unresolved', message);
+      return closeRequest(state, { kind: 'fail', failure });
+    }
+    default:
+      return assertNever(outcome.verdict);
+  }
+};
+
+/**
+ * Tells the caller that its deadline passed before an own nonce was dispatched.
+ *
+ * @param state - state of the request
+ * @param view - current view
+ * @returns the failure with the verdict that the chain allows
+ */
+const failDeadline = (state: IntentState, view: IntentView): IntentStep => {
+  if (isReplaceable(state, view.chain?.link ?? null)) {
+    const message = 'the deadline passed before the request was started';
+    return failNotRun(state, createFailure('not-run', 'deadline-exceeded', message), view);
+  }
+  const failure = createFailure('may-have-run', 'key-in-flight', 'another request holds the key');
+  return closeRequest(state, { kind: 'fail', failure });
+};
+
+/**
+ * Decides what to do under the chain as it is now, when no own nonce can start any more.
+ *
+ * @param state - state of the request
+ * @param view - current view
+ * @returns the next step
+ */
+export const resolveChain = (state: IntentState, view: IntentView): IntentStep => {
+  const { chain } = view;
+  const check = chain === undefined ? undefined : checkChain(state.request, chain);
+  if (check?.isErr() === true) return closeRequest(state, { kind: 'fail', failure: check.error });
+  const link = chain?.link ?? null;
+  if (link?.standing.kind === 'closed') return decideClosed(state, link, link.standing);
+  if (view.now >= state.request.deadlineAt) return failDeadline(state, view);
+  if (link === null || isReplaceable(state, link)) return chooseEndpoint(state, view);
+  return waitForOther(state, link, view);
+};
+
+/**
+ * Appends an intent for a chosen endpoint, unless the chain moved on meanwhile.
+ *
+ * @param state - state that waited for the endpoint
+ * @param target - endpoint and incarnation
+ * @param nonce - fresh nonce
+ * @param view - current view
+ * @returns the settling state, or the step that the changed chain asks for
+ */
+export const appendIntent = (
+  state: StateOf<'choosing'>,
+  target: Target,
+  nonce: Nonce,
+  view: IntentView,
+): IntentStep => {
+  const link = view.chain?.link ?? null;
+  const { request } = state;
+  const usable = view.log === 'up' && view.standing === 'exact';
+  if (!usable || !isReplaceable(state, link) || view.now >= request.deadlineAt) {
+    return resolveChain(state, view);
+  }
+  const previous = link?.nonce ?? null;
+  const record: IntentRecord = {
+    kind: 'intent',
+    ...toRecordOfKey(state, view),
+    fingerprint: request.fingerprint,
+    nonce,
+    previous,
+    endpoint: target.endpoint,
+    incarnation: target.incarnation,
+    entry: request.entry,
+  };
+  const next: IntentState = {
+    ...toBase(state),
+    kind: 'settling',
+    intents: state.intents + 1,
+    place: { ...target, nonce },
+    previous,
+    append: { kind: 'pending' },
+  };
+  const delayMs = Math.min(view.limits.settleMs, request.deadlineAt - view.now);
+  return schedule(next, 'settle', delayMs, { kind: 'append-records', records: [record] });
+};
--- /dev/null
+++ b/packages/decisions/idempotency/keys.ts
@@ -0,0 +1,111 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { validate, version } from 'uuid';
+import { CLOCK_MARGIN_MS } from './constants.js';
+import type { ChainState, KeySettings, KeyedRequest } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+
+/**
+ * Reads the time of creation from a UUIDv7.
+ *
+ * @param id - a key or nonce of any form
+ * @returns milliseconds since the epoch, or null when the value is no UUIDv7
+ */
+export const readIdTime = (id: string): Millis | null => {
+  if (!validate(id) || version(id) !== 7) return null;
+  return Number.parseInt(id.replaceAll('-', '').slice(0, 12), 16);
+};
+
+/**
+ * Finds a key's time of issue.
+ *
+ * @param key - the caller's key
+ * @param header - time from the caller's header, if it sent one
+ * @returns the time inside a UUIDv7 key, else the header's, else null
+ */
+export const resolveIssueTime = (key: string, header: Millis | null): Millis | null =>
+  readIdTime(key) ?? header;
+
+/**
+ * Tells whether a chain may be dropped. It is kept for a clock margin longer than its key is
+ * accepted.
+ *
+ * @param issuedAt - time of issue of the chain's key
+ * @param now - current instant
+ * @param settings - kept window
+ * @returns true when no daemon accepts the key any more
+ */
+export const isKeyExpired = (
+  issuedAt: Millis | null,
+  now: Millis,
+  settings: KeySettings,
+): boolean => issuedAt !== null && now > issuedAt + settings.keyWindowMs + CLOCK_MARGIN_MS;
+
+const refuse = (code: 'key-expired' | 'key-conflict' | 'overloaded', message: string) =>
+  Err(createFailure('not-run', code, message));
+
+const checkIssueTime = (
+  issuedAt: Millis,
+  now: Millis,
+  settings: KeySettings,
+): Result<'accepted', Failure> => {
+  if (issuedAt > now + CLOCK_MARGIN_MS) {
+    return refuse('key-expired', 'the time of issue of the key lies in the future');
+  }
+  if (issuedAt < now - settings.keyWindowMs) {
+    return refuse('key-expired', 'the key was issued before the kept window');
+  }
+  return Ok('accepted');
+};
+
+/**
+ * Checks a request against the content and time of issue that its key is bound to.
+ *
+ * @param request - the request
+ * @param chain - chain of the request's key
+ * @returns `accepted`, or a failure with code `key-conflict`
+ */
+export const checkChain = (
+  request: KeyedRequest,
+  chain: ChainState,
+): Result<'accepted', Failure> => {
+  if (chain.fingerprint !== null && chain.fingerprint !== request.fingerprint) {
+    return refuse('key-conflict', 'the key was used for a request with other content');
+  }
+  if (chain.fingerprint !== null && chain.issuedAt !== request.issuedAt) {
+    // The content is the same, so an earlier request under the key may have run.
+    const message = 'the key was used with another time of issue';
+    return Err(createFailure('may-have-run', 'key-conflict', message));
+  }
+  return Ok('accepted');
+};
+
+/**
+ * Checks a request's key before anything is appended.
+ *
+ * @param request - customer, key, fingerprint and time of issue
+ * @param chain - the key's chain in the table, if any
+ * @param untimedKeys - keys without a time of issue in the table
+ * @param now - current instant
+ * @param settings - kept window and bound of untimed keys
+ * @returns `accepted`, or a failure with code `key-expired`, `key-conflict` or `overloaded`
+ */
+export const checkKey = (
+  request: KeyedRequest,
+  chain: ChainState | undefined,
+  untimedKeys: number,
+  now: Millis,
+  settings: KeySettings,
+): Result<'accepted', Failure> => {
+  if (request.issuedAt !== null) {
+    const timely = checkIssueTime(request.issuedAt, now, settings);
+    if (timely.isErr()) return timely;
+  }
+  if (chain !== undefined) return checkChain(request, chain);
+  if (request.issuedAt === null && untimedKeys >= settings.maxUntimedKeys) {
+    return refuse('overloaded', 'too many keys without a time of issue are kept');
+  }
+  return Ok('accepted');
+};
--- /dev/null
+++ b/packages/decisions/idempotency/nonces.ts
@@ -0,0 +1,204 @@
+import { FENCE_HEADROOM } from './constants.js';
+import { readIdTime } from './keys.js';
+import type {
+  FenceResult,
+  Nonce,
+  NonceDecision,
+  NonceEntry,
+  NonceEvent,
+  NonceSettings,
+  StoredAnswer,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { Incarnation } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+
+interface HeldAnswer {
+  readonly answer: StoredAnswer;
+  readonly until: Millis;
+}
+
+/**
+ * Nonces that one incarnation of an endpoint daemon was asked to start or fence. The maps hold many
+ * thousand entries, so this module updates them in place behind `decideNonce`.
+ */
+export interface NonceTable {
+  readonly incarnation: Incarnation;
+  readonly settings: NonceSettings;
+  readonly entries: Map<Nonce, NonceEntry>;
+  /** Held answers in the order in which they finished. */
+  readonly answers: Map<Nonce, HeldAnswer>;
+  answerBytes: number;
+}
+
+/**
+ * Creates the empty table of a new incarnation.
+ *
+ * @param incarnation - start identity of the endpoint daemon
+ * @param settings - window and bounds
+ * @returns the table
+ */
+export const createNonceTable = (
+  incarnation: Incarnation,
+  settings: NonceSettings,
+): NonceTable => ({
+  incarnation,
+  settings,
+  entries: new Map(),
+  answers: new Map(),
+  answerBytes: 0,
+});
+
+const refuse = (failure: Failure): NonceDecision => ({ kind: 'refuse', failure });
+
+const reply = (result: FenceResult): NonceDecision => ({ kind: 'fence', result });
+
+const isTooOld = (createdAt: Millis, now: Millis, settings: NonceSettings): boolean =>
+  createdAt + settings.windowMs <= now;
+
+const refuseKnown = (entry: NonceEntry): NonceDecision => {
+  switch (entry.kind) {
+    case 'fenced':
+      return refuse(createFailure('not-run', 'fenced', 'the nonce was fenced'));
+    case 'started':
+    case 'finished':
+      return refuse(createFailure('may-have-run', 'key-in-flight', 'the nonce was started before'));
+    default:
+      return assertNever(entry);
+  }
+};
+
+const startNonce = (
+  table: NonceTable,
+  event: Extract<NonceEvent, { kind: 'start' }>,
+): NonceDecision => {
+  const createdAt = readIdTime(event.nonce);
+  if (createdAt === null) {
+    return refuse(createFailure('not-run', 'bad-request', 'the nonce is no UUIDv7'));
+  }
+  if (event.incarnation !== table.incarnation) {
+    return refuse(createFailure('not-run', 'stale-incarnation', 'the daemon started again'));
+  }
+  const known = table.entries.get(event.nonce);
+  if (known !== undefined) return refuseKnown(known);
+  // Entries are dropped only above this age, so a dropped fence can never be passed.
+  if (isTooOld(createdAt, event.now, table.settings)) {
+    return refuse(createFailure('not-run', 'key-expired', 'the nonce is older than the window'));
+  }
+  if (table.entries.size >= table.settings.maxEntries) {
+    return refuse(createFailure('not-run', 'overloaded', 'the table of nonces is full'));
+  }
+  table.entries.set(event.nonce, { kind: 'started', createdAt });
+  return { kind: 'run' };
+};
+
+const describeKnown = (table: NonceTable, nonce: Nonce, entry: NonceEntry): FenceResult => {
+  switch (entry.kind) {
+    case 'fenced':
+    case 'started':
+      return { kind: entry.kind };
+    case 'finished':
+      return {
+        kind: 'finished',
+        answer: table.answers.get(nonce)?.answer ?? null,
+        status: entry.status,
+        bodyDigest: entry.bodyDigest,
+      };
+    default:
+      return assertNever(entry);
+  }
+};
+
+const fenceNonce = (
+  table: NonceTable,
+  event: Extract<NonceEvent, { kind: 'fence' }>,
+): NonceDecision => {
+  const createdAt = readIdTime(event.nonce);
+  if (createdAt === null || event.incarnation !== table.incarnation) {
+    return reply({ kind: 'unknown-incarnation' });
+  }
+  const known = table.entries.get(event.nonce);
+  if (known !== undefined) return reply(describeKnown(table, event.nonce, known));
+  // The entry may have been dropped after the nonce ran, so nothing can be promised.
+  if (isTooOld(createdAt, event.now, table.settings)) {
+    return reply({ kind: 'unknown-incarnation' });
+  }
+  if (table.entries.size >= table.settings.maxEntries * FENCE_HEADROOM) {
+    return refuse(createFailure('may-have-run', 'overloaded', 'the table of nonces is full'));
+  }
+  table.entries.set(event.nonce, { kind: 'fenced', createdAt });
+  return reply({ kind: 'fenced' });
+};
+
+const removeAnswer = (table: NonceTable, nonce: Nonce): void => {
+  const held = table.answers.get(nonce);
+  if (held === undefined) return;
+  table.answers.delete(nonce);
+  table.answerBytes -= held.answer.body.byteLength;
+};
+
+const closeNonce = (
+  table: NonceTable,
+  event: Extract<NonceEvent, { kind: 'finish' }>,
+): NonceDecision => {
+  const { nonce, answer, now } = event;
+  const entry = table.entries.get(nonce);
+  if (entry?.kind !== 'started') return { kind: 'kept' };
+  const { status, bodyDigest } = answer;
+  table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
+  table.answers.set(nonce, { answer, until: now + table.settings.answerKeepMs });
+  table.answerBytes += answer.body.byteLength;
+  for (const oldest of table.answers.keys()) {
+    if (table.answerBytes <= table.settings.maxAnswerBytes) break;
+    removeAnswer(table, oldest);
+  }
+  return { kind: 'kept' };
+};
+
+const releaseNonce = (table: NonceTable, nonce: Nonce): NonceDecision => {
+  const entry = table.entries.get(nonce);
+  if (entry?.kind === 'started') {
+    table.entries.set(nonce, { kind: 'fenced', createdAt: entry.createdAt });
+  }
+  return { kind: 'kept' };
+};
+
+const expireNonces = (table: NonceTable, now: Millis): NonceDecision => {
+  for (const [nonce, held] of table.answers) {
+    if (held.until <= now) removeAnswer(table, nonce);
+  }
+  for (const [nonce, entry] of table.entries) {
+    if (!isTooOld(entry.createdAt, now, table.settings)) continue;
+    removeAnswer(table, nonce);
+    table.entries.delete(nonce);
+  }
+  return { kind: 'kept' };
+};
+
+/**
+ * Decides about a nonce at its endpoint daemon. A nonce is started at most once per incarnation,
+ * and never after it was fenced. `now` must never go back: the age of a nonce decides both whether
+ * it may start and whether its entry may be dropped.
+ *
+ * @param table - the incarnation's table, updated in place
+ * @param event - what was asked for or what ended
+ * @returns `run` when the call may start, `refuse`, the reply to a fence, or `kept`
+ */
+export const decideNonce = (table: NonceTable, event: NonceEvent): NonceDecision => {
+  switch (event.kind) {
+    case 'start':
+      return startNonce(table, event);
+    case 'fence':
+      return fenceNonce(table, event);
+    case 'finish':
+      return closeNonce(table, event);
+    case 'release':
+      return releaseNonce(table, event.nonce);
+    case 'expire':
+      return expireNonces(table, event.now);
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/packages/decisions/idempotency/records.ts
@@ -0,0 +1,80 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { z } from 'zod';
+import { INTENT_FORMAT } from './constants.js';
+import type { IntentStreamRecord } from './types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+
+const text = z.string().min(1);
+const nullableText = text.nullable();
+
+const ofKey = {
+  format: z.literal(INTENT_FORMAT),
+  customer: text,
+  key: text,
+  issuedAt: z.number().nullable(),
+  at: z.number(),
+};
+
+const outcome = {
+  verdict: z.enum(['ran', 'may-have-run']),
+  status: z.number().int().nullable(),
+  bodyDigest: z.string().nullable(),
+};
+
+const standing = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('open') }),
+  z.object({ kind: z.literal('abandoned') }),
+  z.object({ kind: z.literal('closed'), ...outcome }),
+]);
+
+const link = z.object({
+  nonce: text,
+  previous: nullableText,
+  endpoint: text,
+  incarnation: text,
+  entry: text,
+  at: z.number(),
+  standing,
+});
+
+const recordSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('intent'),
+    ...ofKey,
+    fingerprint: text,
+    nonce: text,
+    previous: nullableText,
+    endpoint: text,
+    incarnation: text,
+    entry: text,
+  }),
+  z.object({ kind: z.literal('outcome'), ...ofKey, nonce: text, ...outcome }),
+  z.object({ kind: z.literal('abandoned'), ...ofKey, nonce: text }),
+  z.object({
+    kind: z.literal('carry-forward'),
+    ...ofKey,
+    fingerprint: nullableText,
+    asOf: z.number().int().nonnegative(),
+    link: link.nullable(),
+    abandonedEarly: z.array(text),
+  }),
+]);
+
+/**
+ * Checks a value of the `intents` stream.
+ *
+ * @param json - decoded JSON of a record
+ * @returns the record, or a failure that names the first bad field (`unsupported-format` for a
+ *   format of a later version)
+ */
+export const parseIntentRecord = (json: unknown): Result<IntentStreamRecord, Failure> => {
+  const parsed = recordSchema.safeParse(json);
+  if (parsed.success) return Ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const field = issue?.path.join('.') ?? '';
+  const code = field === 'format' ? 'unsupported-format' : 'bad-request';
+  const message = `record of the intents stream: field "${field}": ${issue?.message ?? 'invalid'}`;
+  return Err(createFailure('not-run', code, message));
+};
--- /dev/null
+++ b/packages/decisions/idempotency/table.test.ts
@@ -0,0 +1,118 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { planCarryForward } from './carryForward.js';
+import { createIntentTable, expireChains, findChain, foldIntentBatch } from './table.js';
+import type { IntentTable } from './table.js';
+import type { IntentStreamRecord, Nonce } from './types.js';
+
+const SETTINGS = { keyWindowMs: 1_000, maxUntimedKeys: 10 };
+const OF_KEY = { format: 1, customer: 'c', key: 'k', issuedAt: 0, at: 0 } as const;
+
+const buildIntent = (nonce: Nonce, previous: Nonce | null): IntentStreamRecord => {
+  const place = { endpoint: 'e', incarnation: 'i', entry: 'd' };
+  return { kind: 'intent', ...OF_KEY, ...place, fingerprint: 'f', nonce, previous };
+};
+const buildOutcome = (nonce: Nonce, verdict: 'ran' | 'may-have-run'): IntentStreamRecord => {
+  return { kind: 'outcome', ...OF_KEY, nonce, verdict, status: 200, bodyDigest: 'd' };
+};
+const buildAbandoned = (nonce: Nonce): IntentStreamRecord => ({
+  kind: 'abandoned',
+  ...OF_KEY,
+  nonce,
+});
+
+const foldFrom = (table: IntentTable, firstOffset: number, all: readonly IntentStreamRecord[]) => {
+  const from = Math.max(firstOffset, table.nextOffset);
+  const records = all.slice(from).map((record, index) => ({ offset: from + index, record }));
+  return foldIntentBatch(
+    table,
+    { firstOffset, nextOffset: all.length, records, end: 'reached' },
+    0,
+  );
+};
+
+const foldAll = (...all: readonly IntentStreamRecord[]) => {
+  const table = createIntentTable(SETTINGS);
+  const results = foldFrom(table, 0, all);
+  return { table, results, link: findChain(table, 'c', 'k')?.link };
+};
+
+// Guards against two active intents of one key.
+test('the first intent after the active one wins, and none follows an outcome', (t) => {
+  const { results, link } = foldAll(
+    buildIntent('a', null),
+    buildIntent('b', null),
+    buildIntent('c', 'a'),
+    buildIntent('d', 'a'),
+    buildOutcome('a', 'ran'),
+    buildOutcome('c', 'may-have-run'),
+    buildOutcome('c', 'ran'),
+    buildIntent('e', 'c'),
+  );
+  t.deepEqual(results, ['active', 'void', 'active', 'void', 'ignored', 'closed', 'closed', 'void']);
+  t.like(link, { nonce: 'c', standing: { kind: 'closed', verdict: 'ran' } });
+});
+
+// Guards against a different order of intents at daemons that did not read the abandoned record.
+test('an intent that lands after its abandoned record takes its place and blocks nobody', (t) => {
+  const { results, link } = foldAll(
+    buildAbandoned('a'),
+    buildIntent('a', null),
+    buildIntent('b', null),
+    buildIntent('c', 'a'),
+  );
+  t.deepEqual(results, ['ignored', 'active', 'void', 'active']);
+  t.like(link, { nonce: 'c', standing: { kind: 'open' } });
+});
+
+// Guards against a chain that is dropped while another daemon still accepts its key.
+test('a chain is kept for a clock margin after its window, untimed ones for ever', (t) => {
+  const { table } = foldAll(buildIntent('a', null), {
+    ...buildIntent('b', null),
+    key: 'untimed',
+    issuedAt: null,
+  });
+  t.is(expireChains(table, 301_000), 0);
+  t.is(expireChains(table, 301_001), 1);
+  t.is(table.untimedKeys, 1);
+  t.truthy(findChain(table, 'c', 'untimed'));
+});
+
+const nonces = fc.constantFrom('a', 'b', 'c', 'd');
+const anyRecord = fc.oneof(
+  fc.tuple(nonces, fc.option(nonces)).map(([nonce, previous]) => buildIntent(nonce, previous)),
+  nonces.map(buildAbandoned),
+  fc
+    .tuple(nonces, fc.constantFrom('ran' as const, 'may-have-run' as const))
+    .map(([nonce, verdict]) => buildOutcome(nonce, verdict)),
+);
+
+// Guards against a fresh daemon that sees another active intent than one that read everything.
+test('a table that starts after retention holds the same link as one that read everything', (t) => {
+  t.notThrows(() => {
+    fc.assert(
+      fc.property(
+        fc.array(anyRecord, { maxLength: 12 }),
+        fc.array(anyRecord, { maxLength: 6 }),
+        fc.array(anyRecord, { maxLength: 6 }),
+        fc.nat({ max: 6 }),
+        (before, between, after, late) => {
+          const full = createIntentTable(SETTINGS);
+          foldFrom(full, 0, before);
+          const info = { firstOffset: 0, now: 0, carryAfterMs: 0, maxRecords: 9 };
+          const carried = planCarryForward(full, info);
+          const log = [...before, ...between, ...carried, ...after];
+          foldFrom(full, 0, log);
+          const [chain] = full.chains.values();
+          // Retention may drop everything that the chain does not need.
+          const firstOffset = Math.max(0, (chain?.coverOffset ?? log.length) - late);
+          const fresh = createIntentTable(SETTINGS);
+          foldFrom(fresh, firstOffset, log);
+          const links = [full, fresh].map((table) => findChain(table, 'c', 'k')?.link ?? null);
+          return JSON.stringify(links[0]) === JSON.stringify(links[1]);
+        },
+      ),
+      { seed: 11, numRuns: 2_000 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/idempotency/table.ts
@@ -0,0 +1,250 @@
+import { createChainState, foldChain, toChainState } from './chain.js';
+import { isKeyExpired } from './keys.js';
+import type {
+  CarryForwardRecord,
+  ChainRecord,
+  ChainState,
+  FoldResult,
+  IntentStreamRecord,
+  KeySettings,
+  TableStanding,
+} from './types.js';
+import type { Millis } from '../../core/clock.js';
+import type { CustomerId, Offset } from '../../core/ids.js';
+
+interface Placed {
+  readonly offset: Offset;
+  readonly record: ChainRecord;
+}
+
+/** One chain together with what is needed to correct it while the table catches up. */
+export interface TableChain {
+  state: ChainState;
+  /** State that contains every record below `baseAsOf`; undefined without known history. */
+  base: ChainState | undefined;
+  baseAsOf: Offset;
+  /** Records from `baseAsOf` on, kept only while the table catches up. */
+  recent: Placed[];
+  /** Offset of the last record that changed the chain. */
+  lastOffset: Offset;
+  /** The chain can be rebuilt from the records at this offset and above. */
+  coverOffset: Offset;
+  /** Writer's time of the record at `coverOffset`. */
+  coverAt: Millis;
+}
+
+/**
+ * Intent chains of all kept keys. The maps hold up to several hundred thousand keys, so this module
+ * updates them in place; other modules only read them.
+ */
+export interface IntentTable {
+  readonly settings: KeySettings;
+  readonly chains: Map<string, TableChain>;
+  standing: TableStanding;
+  nextOffset: Offset;
+  untimedKeys: number;
+}
+
+/** Answer of one read of the stream, with its records already checked. */
+export interface IntentBatch {
+  readonly firstOffset: Offset;
+  readonly nextOffset: Offset;
+  readonly records: readonly { readonly offset: Offset; readonly record: IntentStreamRecord }[];
+  /** `reached` when the read returned everything that the stream held. */
+  readonly end: 'reached' | 'more';
+}
+
+/**
+ * Creates the table of a daemon that has read nothing yet.
+ *
+ * @param settings - kept window and bound of untimed keys
+ * @returns an empty table that is catching up
+ */
+export const createIntentTable = (settings: KeySettings): IntentTable => ({
+  settings,
+  chains: new Map(),
+  standing: 'catching-up',
+  nextOffset: 0,
+  untimedKeys: 0,
+});
+
+const toChainId = (customer: CustomerId, key: string): string => `${customer}\u0000${key}`;
+
+/**
+ * Finds the chain of a key.
+ *
+ * @param table - the table
+ * @param customer - owner of the key
+ * @param key - the caller's key
+ * @returns the chain's state, or undefined when the key is new
+ */
+export const findChain = (
+  table: IntentTable,
+  customer: CustomerId,
+  key: string,
+): ChainState | undefined => table.chains.get(toChainId(customer, key))?.state;
+
+const addChain = (
+  table: IntentTable,
+  state: ChainState,
+  offset: Offset,
+  at: Millis,
+): TableChain => {
+  const chain: TableChain = {
+    state,
+    base: undefined,
+    baseAsOf: 0,
+    recent: [],
+    lastOffset: offset,
+    coverOffset: offset,
+    coverAt: at,
+  };
+  table.chains.set(toChainId(state.customer, state.key), chain);
+  if (state.issuedAt === null) table.untimedKeys += 1;
+  return chain;
+};
+
+const removeChain = (table: IntentTable, state: ChainState): void => {
+  table.chains.delete(toChainId(state.customer, state.key));
+  if (state.issuedAt === null) table.untimedKeys -= 1;
+};
+
+const foldPlain = (table: IntentTable, offset: Offset, record: ChainRecord): FoldResult => {
+  const known = table.chains.get(toChainId(record.customer, record.key));
+  const chain = known ?? addChain(table, createChainState(record), offset, record.at);
+  const fold = foldChain(chain.state, record);
+  if (fold.state !== chain.state) chain.lastOffset = offset;
+  chain.state = fold.state;
+  if (table.standing === 'catching-up') chain.recent.push({ offset, record });
+  return fold.result;
+};
+
+const replayRecords = (base: ChainState, recent: readonly Placed[]): ChainState =>
+  recent.reduce((state, { record }) => foldChain(state, record).state, base);
+
+/** Puts a carried state under the records that were read without their history. */
+const applyCarried = (
+  table: IntentTable,
+  chain: TableChain,
+  offset: Offset,
+  record: CarryForwardRecord,
+): void => {
+  if (chain.base !== undefined && chain.baseAsOf >= record.asOf) return;
+  if (chain.state.issuedAt === null) table.untimedKeys -= 1;
+  chain.base = toChainState(record);
+  chain.baseAsOf = record.asOf;
+  chain.recent = chain.recent.filter((placed) => placed.offset >= record.asOf);
+  chain.state = replayRecords(chain.base, chain.recent);
+  if (chain.state.issuedAt === null) table.untimedKeys += 1;
+  const first = chain.recent[0];
+  chain.lastOffset = chain.recent.at(-1)?.offset ?? record.asOf - 1;
+  chain.coverOffset = first?.offset ?? offset;
+  chain.coverAt = first?.record.at ?? record.at;
+};
+
+const foldCarried = (
+  table: IntentTable,
+  offset: Offset,
+  record: CarryForwardRecord,
+): FoldResult => {
+  const known = table.chains.get(toChainId(record.customer, record.key));
+  const chain = known ?? addChain(table, toChainState(record), offset, record.at);
+  if (table.standing === 'catching-up') {
+    applyCarried(table, chain, offset, record);
+  } else if (record.asOf > chain.lastOffset) {
+    chain.coverOffset = offset;
+    chain.coverAt = record.at;
+  }
+  return 'carried';
+};
+
+/**
+ * Folds one record in log order. A record below the table's offset was folded before and is
+ * ignored.
+ *
+ * @param table - the table, updated in place
+ * @param offset - offset of the record
+ * @param record - the checked record
+ * @param now - current instant, for expiry
+ * @returns what the record did
+ */
+export const foldIntentRecord = (
+  table: IntentTable,
+  offset: Offset,
+  record: IntentStreamRecord,
+  now: Millis,
+): FoldResult => {
+  if (offset < table.nextOffset) return 'ignored';
+  table.nextOffset = offset + 1;
+  if (isKeyExpired(record.issuedAt, now, table.settings)) return 'expired';
+  return record.kind === 'carry-forward'
+    ? foldCarried(table, offset, record)
+    : foldPlain(table, offset, record);
+};
+
+/** Retention dropped unread records, so states are exact only up to the table's offset. */
+const openGap = (table: IntentTable, firstOffset: Offset): void => {
+  if (table.standing === 'exact') {
+    for (const chain of table.chains.values()) {
+      chain.base = chain.state;
+      chain.baseAsOf = table.nextOffset;
+      chain.recent = [];
+    }
+  }
+  table.standing = 'catching-up';
+  table.nextOffset = firstOffset;
+};
+
+const closeGap = (table: IntentTable): void => {
+  if (table.standing === 'exact') return;
+  table.standing = 'exact';
+  for (const chain of table.chains.values()) {
+    chain.base = undefined;
+    chain.recent = [];
+  }
+};
+
+/**
+ * Folds the answer of one read. A gap below `firstOffset` makes the table inexact until a read
+ * reaches the end of the stream: the records that carry the dropped chains forward were appended
+ * before the drop, so they lie before that end.
+ *
+ * @param table - the table, updated in place
+ * @param batch - records and bounds of the read
+ * @param now - current instant
+ * @returns what each record did, in order
+ */
+export const foldIntentBatch = (
+  table: IntentTable,
+  batch: IntentBatch,
+  now: Millis,
+): readonly FoldResult[] => {
+  if (batch.firstOffset > table.nextOffset) openGap(table, batch.firstOffset);
+  const results = batch.records.map(({ offset, record }) =>
+    foldIntentRecord(table, offset, record, now),
+  );
+  table.nextOffset = Math.max(table.nextOffset, batch.nextOffset);
+  if (batch.end === 'reached') closeGap(table);
+  return results;
+};
+
+/** A chain that holds only early abandoned nonces; without it their intents cost a fence. */
+const isForgotten = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
+  chain.state.link === null && now > chain.coverAt + settings.keyWindowMs;
+
+/**
+ * Drops the chains of expired keys.
+ *
+ * @param table - the table, updated in place
+ * @param now - current instant
+ * @returns number of dropped chains
+ */
+export const expireChains = (table: IntentTable, now: Millis): number => {
+  const { settings } = table;
+  const expired = [...table.chains.values()].filter(
+    (chain) =>
+      isKeyExpired(chain.state.issuedAt, now, settings) || isForgotten(chain, now, settings),
+  );
+  for (const chain of expired) removeChain(table, chain.state);
+  return expired.length;
+};
--- /dev/null
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -0,0 +1,121 @@
+import { decideNonce } from '../nonces.js';
+import type { DispatchResult, FenceResult, NoncePlace } from '../types.js';
+import type { EndpointModel, Fault, World } from './types.js';
+import { addTask, recordExecution } from './world.js';
+import { createFailure } from '../../../core/verdict.js';
+
+const LOST: DispatchResult = {
+  kind: 'unknown',
+  failure: createFailure('may-have-run', 'endpoint-failed', 'connection lost'),
+};
+
+const buildAnswer = (place: NoncePlace) => ({
+  status: 200,
+  headers: [],
+  body: new TextEncoder().encode(place.nonce),
+  bodyDigest: place.nonce,
+});
+
+/** The service runs the call, then its answer is stored and sent; a restart in between loses it. */
+const runCall = (
+  world: World,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+  key: string,
+  reply: (result: DispatchResult) => void,
+): void => {
+  const { table } = endpoint;
+  addTask(world, () => {
+    if (endpoint.table !== table) {
+      reply(LOST);
+      return;
+    }
+    recordExecution(world, place.nonce, key);
+    addTask(world, (fault) => {
+      const answer = buildAnswer(place);
+      decideNonce(table, { kind: 'finish', nonce: place.nonce, answer, now: world.now });
+      const lost = endpoint.table !== table || fault === 'lose-answer';
+      reply(lost ? LOST : { kind: 'answered', answer });
+    });
+  });
+};
+
+const receiveDispatch = (
+  world: World,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+  key: string,
+  reply: (result: DispatchResult) => void,
+): void => {
+  if (endpoint.accepting === 'draining') {
+    reply({ kind: 'refused', failure: createFailure('not-run', 'draining', 'leaving') });
+    return;
+  }
+  const { nonce, incarnation } = place;
+  const decision = decideNonce(endpoint.table, {
+    kind: 'start',
+    nonce,
+    incarnation,
+    now: world.now,
+  });
+  if (decision.kind === 'run') {
+    runCall(world, endpoint, place, key, reply);
+    return;
+  }
+  if (decision.kind !== 'refuse') return;
+  const { failure } = decision;
+  reply(
+    failure.verdict === 'not-run' ? { kind: 'refused', failure } : { kind: 'unknown', failure },
+  );
+};
+
+/** Sends a dispatch over a network that can lose or delay it and its reply. */
+export const sendDispatch = (
+  world: World,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+  key: string,
+  fault: Fault,
+  reply: (result: DispatchResult) => void,
+): void => {
+  if (fault === 'none') {
+    addTask(world, () => {
+      receiveDispatch(world, endpoint, place, key, reply);
+    });
+    return;
+  }
+  if (fault !== 'lose-request') {
+    // The sender gives up while the message is still on its way.
+    addTask(world, () => {
+      receiveDispatch(world, endpoint, place, key, () => undefined);
+    });
+  }
+  reply(LOST);
+};
+
+const fenceModel = (world: World, endpoint: EndpointModel, place: NoncePlace): FenceResult => {
+  const { nonce, incarnation } = place;
+  const { table } = endpoint;
+  const forgets = world.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
+  if (forgets && table.incarnation === incarnation) return { kind: 'fenced' };
+  const decision = decideNonce(table, { kind: 'fence', nonce, incarnation, now: world.now });
+  return decision.kind === 'fence' ? decision.result : { kind: 'unreachable' };
+};
+
+/** Sends a fence over the same network. */
+export const sendFence = (
+  world: World,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+  fault: Fault,
+  reply: (result: FenceResult) => void,
+): void => {
+  if (fault === 'lose-request') {
+    reply({ kind: 'unreachable' });
+    return;
+  }
+  addTask(world, (later) => {
+    const result = fenceModel(world, endpoint, place);
+    reply(fault === 'none' && later === 'none' ? result : { kind: 'unreachable' });
+  });
+};
--- /dev/null
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -0,0 +1,235 @@
+import fc from 'fast-check';
+import { appendCarried, readEntry, startModelRequest } from './entryModel.js';
+import type {
+  Command,
+  EndpointModel,
+  EntryModel,
+  Fault,
+  LogMode,
+  Mechanisms,
+  Task,
+  World,
+} from './types.js';
+import {
+  updateTime,
+  createWorld,
+  addLate,
+  restartEndpoint,
+  restartEntry,
+  pruneLog,
+} from './world.js';
+import { assertNever } from '../../../core/assertNever.js';
+
+const entry = fc.nat({ max: 2 });
+const endpoint = fc.nat({ max: 1 });
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  { weight: 12, arbitrary: fc.constant('none' as const) },
+  { weight: 1, arbitrary: fc.constant('lose-request' as const) },
+  { weight: 1, arbitrary: fc.constant('lose-answer' as const) },
+  { weight: 1, arbitrary: fc.constant('late' as const) },
+);
+
+/** How often each command occurs; `retention` restarts entry daemons on a log that was cut. */
+export type Profile = 'faults' | 'retention';
+
+type Weights = Readonly<Record<Command['kind'], number>>;
+
+const getWeights = (profile: Profile): Weights => {
+  const faults: Weights = {
+    step: 50,
+    request: 8,
+    read: 20,
+    advance: 6,
+    pause: 2,
+    wake: 3,
+    'restart-entry': 1,
+    'restart-endpoint': 1,
+    'drain-endpoint': 1,
+    log: 2,
+    land: 2,
+    carry: 4,
+    trim: 3,
+  };
+  switch (profile) {
+    case 'faults':
+      return faults;
+    case 'retention':
+      return { ...faults, step: 90, read: 30, advance: 3, carry: 12, trim: 12, 'restart-entry': 4 };
+    default:
+      return assertNever(profile);
+  }
+};
+
+const logMode = fc.constantFrom('up', 'up', 'down', 'lose-answers') as fc.Arbitrary<LogMode>;
+
+const buildArbitrary = (kind: Command['kind']): fc.Arbitrary<Command> => {
+  switch (kind) {
+    case 'step':
+      return fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 30 }), fault });
+    case 'request':
+      // One request in ten has other content under its key.
+      return fc.record({
+        kind: fc.constant(kind),
+        entry,
+        key: fc.nat({ max: 2 }),
+        content: fc.nat({ max: 9 }).map((value) => (value === 9 ? 1 : 0)),
+      });
+    case 'advance':
+      // The longest step expires the timed keys and every nonce.
+      return fc.record({
+        kind: fc.constant(kind),
+        ms: fc.constantFrom(100, 300, 300, 1_000, 1_000, 3_000, 10_000, 420_000),
+      });
+    case 'read':
+    case 'pause':
+    case 'wake':
+    case 'restart-entry':
+    case 'carry':
+      return fc.record({ kind: fc.constant(kind), entry });
+    case 'restart-endpoint':
+    case 'drain-endpoint':
+      return fc.record({ kind: fc.constant(kind), endpoint });
+    case 'log':
+      return fc.record({ kind: fc.constant(kind), mode: logMode });
+    case 'land':
+    case 'trim':
+      return fc.constant({ kind });
+    default:
+      return assertNever(kind);
+  }
+};
+
+/**
+ * Builds lists of commands for one run.
+ *
+ * @param profile - how often each command occurs
+ * @returns the arbitrary list
+ */
+export const buildCommandList = (profile: Profile): fc.Arbitrary<Command[]> => {
+  const weights = Object.entries(getWeights(profile)) as [Command['kind'], number][];
+  const command = fc.oneof(
+    ...weights.map(([kind, weight]) => ({ weight, arbitrary: buildArbitrary(kind) })),
+  );
+  return fc.array(command, { minLength: 40, maxLength: 240, size: 'max' });
+};
+
+const isRunnable = (world: World, task: Task): boolean => {
+  if (task.dueAt > world.now) return false;
+  return task.owner === null || world.entries[task.owner]?.activity === 'running';
+};
+
+const runTask = (world: World, pick: number, taskFault: Fault): 'ran' | 'idle' => {
+  const stale = ({ owner, life }: Task): boolean =>
+    owner !== null && world.entries[owner]?.life !== life;
+  for (let index = world.tasks.length - 1; index >= 0; index -= 1) {
+    if (stale(world.tasks[index] as Task)) world.tasks.splice(index, 1);
+  }
+  const runnable = world.tasks.filter((task) => isRunnable(world, task));
+  const task = runnable[pick % Math.max(1, runnable.length)];
+  if (task === undefined) return 'idle';
+  world.tasks.splice(world.tasks.indexOf(task), 1);
+  task.run(taskFault);
+  return 'ran';
+};
+
+const applyCommand = (world: World, next: Command): void => {
+  switch (next.kind) {
+    case 'request':
+      startModelRequest(world, next.entry, next.key, next.content);
+      return;
+    case 'step':
+      runTask(world, next.pick, next.fault);
+      return;
+    case 'advance':
+      updateTime(world, next.ms);
+      return;
+    case 'read':
+      readEntry(world, next.entry);
+      return;
+    case 'pause':
+      (world.entries[next.entry] as EntryModel).activity = 'paused';
+      return;
+    case 'wake':
+      (world.entries[next.entry] as EntryModel).activity = 'running';
+      return;
+    case 'restart-entry':
+      restartEntry(world.entries[next.entry] as EntryModel);
+      return;
+    case 'restart-endpoint':
+      restartEndpoint(world.endpoints[next.endpoint] as EndpointModel);
+      return;
+    case 'drain-endpoint': {
+      const model = world.endpoints[next.endpoint] as EndpointModel;
+      model.accepting = model.accepting === 'accepting' ? 'draining' : 'accepting';
+      return;
+    }
+    case 'log':
+      world.log.mode = next.mode;
+      return;
+    case 'land':
+      addLate(world);
+      return;
+    case 'carry':
+      appendCarried(world, next.entry);
+      return;
+    case 'trim':
+      pruneLog(world);
+      return;
+    default:
+      assertNever(next);
+  }
+};
+
+/** Ends all faults and runs until every task is done. */
+const settleWorld = (world: World): void => {
+  world.log.mode = 'up';
+  for (const model of world.entries) model.activity = 'running';
+  while (world.log.late.length > 0) addLate(world);
+  for (let round = 0; round < 400 && world.tasks.length > 0; round += 1) {
+    for (let task = 0; task < 2_000 && runTask(world, 0, 'none') === 'ran'; task += 1);
+    world.entries.forEach((_, index) => {
+      readEntry(world, index);
+    });
+    updateTime(world, 200);
+  }
+};
+
+const checkReplies = (world: World): void => {
+  for (const [requestId, reply] of world.replies) {
+    const key = world.keyOfRequest.get(requestId) as string;
+    const runs = world.executionsByKey.get(key) ?? 0;
+    const own = [...world.owners].filter(([, owner]) => owner === requestId);
+    const ownRan = own.some(([nonce]) => world.executedNonces.has(nonce));
+    const told = reply.kind === 'failure' ? reply.verdict : 'ran';
+    if (told === 'not-run' && ownRan)
+      world.violations.push(`${requestId} was told not-run and ran`);
+    if (told === 'ran' && runs !== 1) {
+      world.violations.push(`${requestId} was told ran, and its key ran ${runs.toString()} times`);
+    }
+  }
+};
+
+const checkFinished = (world: World): void => {
+  for (const model of world.entries) {
+    for (const [requestId, state] of model.requests) {
+      if (state.kind !== 'finished') world.violations.push(`${requestId} is left ${state.kind}`);
+      if (!world.replies.has(requestId)) world.violations.push(`${requestId} got no reply`);
+    }
+  }
+};
+
+/**
+ * Runs a list of commands and then all that is left, without faults.
+ *
+ * @param commands - what happens
+ * @param mechanisms - which mechanisms are in place
+ * @returns the world with the violations that the oracle found
+ */
+export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): World => {
+  const world = createWorld(mechanisms);
+  for (const next of commands) applyCommand(world, next);
+  settleWorld(world);
+  checkReplies(world);
+  checkFinished(world);
+  return world;
+};
--- /dev/null
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -0,0 +1,110 @@
+import type { NonceTable } from '../nonces.js';
+import type { IntentTable } from '../table.js';
+import type { IntentState, IntentStreamRecord, Nonce, StoredAnswer } from '../types.js';
+import type { Millis } from '../../../core/clock.js';
+import type { Verdict } from '../../../core/verdict.js';
+
+/** Test-only switch that takes a mechanism away, to show that the oracle notices its absence. */
+export type Mechanism = 'kept' | 'disabled';
+
+export interface Mechanisms {
+  /** Endpoint daemons store the fences that they promise. */
+  readonly fence: Mechanism;
+  /** Entry daemons dispatch only what they read back as active. */
+  readonly readBack: Mechanism;
+  /** Entry daemons take dropped chains from the carry-forward records. */
+  readonly carryForward: Mechanism;
+}
+
+export type Fault = 'none' | 'lose-request' | 'lose-answer' | 'late';
+
+export type Command =
+  | {
+      readonly kind: 'request';
+      readonly entry: number;
+      readonly key: number;
+      readonly content: number;
+    }
+  /** Runs one of the waiting tasks, optionally with a fault on its message. */
+  | { readonly kind: 'step'; readonly pick: number; readonly fault: Fault }
+  | { readonly kind: 'advance'; readonly ms: Millis }
+  | { readonly kind: 'read'; readonly entry: number }
+  | { readonly kind: 'pause'; readonly entry: number }
+  | { readonly kind: 'wake'; readonly entry: number }
+  | { readonly kind: 'restart-entry'; readonly entry: number }
+  | { readonly kind: 'restart-endpoint'; readonly endpoint: number }
+  | { readonly kind: 'drain-endpoint'; readonly endpoint: number }
+  | { readonly kind: 'log'; readonly mode: LogMode }
+  /** The oldest late append lands. */
+  | { readonly kind: 'land' }
+  | { readonly kind: 'carry'; readonly entry: number }
+  | { readonly kind: 'trim' };
+
+export type LogMode = 'up' | 'down' | 'lose-answers';
+
+export interface FakeLog {
+  mode: LogMode;
+  readonly records: IntentStreamRecord[];
+  readonly late: (readonly IntentStreamRecord[])[];
+  firstOffset: number;
+}
+
+export interface EntryModel {
+  readonly id: string;
+  readonly skewMs: Millis;
+  /** Counts restarts; tasks of an earlier life are dropped. */
+  life: number;
+  activity: 'running' | 'paused';
+  logSeen: 'up' | 'out';
+  table: IntentTable;
+  readonly requests: Map<string, IntentState>;
+}
+
+export interface EndpointModel {
+  readonly id: string;
+  /** Incarnations so far, newest last. */
+  readonly incarnations: string[];
+  table: NonceTable;
+  accepting: 'accepting' | 'draining';
+}
+
+export interface Task {
+  /** Index of the entry daemon that runs the task; null for the network and endpoints. */
+  readonly owner: number | null;
+  readonly life: number;
+  readonly dueAt: Millis;
+  readonly run: (fault: Fault) => void;
+}
+
+export type Reply =
+  | { readonly kind: 'answer'; readonly answer: StoredAnswer }
+  | { readonly kind: 'digest' }
+  | { readonly kind: 'failure'; readonly verdict: Verdict; readonly code: string };
+
+export interface Statistics {
+  executions: number;
+  fences: number;
+  replays: number;
+  intents: number;
+  carried: number;
+  trimmed: number;
+}
+
+export interface World {
+  readonly mechanisms: Mechanisms;
+  now: Millis;
+  sequence: number;
+  readonly log: FakeLog;
+  /** Table of an observer that reads every record, for the trim command. */
+  readonly observer: IntentTable;
+  readonly entries: readonly EntryModel[];
+  readonly endpoints: readonly EndpointModel[];
+  readonly tasks: Task[];
+  readonly owners: Map<Nonce, string>;
+  readonly executedNonces: Set<Nonce>;
+  readonly executionsByKey: Map<string, number>;
+  readonly keyOfRequest: Map<string, string>;
+  readonly replies: Map<string, Reply>;
+  readonly violations: string[];
+  readonly statistics: Statistics;
+}
--- /dev/null
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -0,0 +1,188 @@
+import { DEFAULT_INTENT_LIMITS } from '../constants.js';
+import { createNonceTable, decideNonce } from '../nonces.js';
+import { parseIntentRecord } from '../records.js';
+import { createIntentTable, expireChains, foldIntentBatch, foldIntentRecord } from '../table.js';
+import type { AppendResult, IntentLimits, IntentStreamRecord, Nonce } from '../types.js';
+import type { EndpointModel, EntryModel, Fault, Mechanisms, Task, World } from './types.js';
+import type { Millis } from '../../../core/clock.js';
+import type { Offset } from '../../../core/ids.js';
+
+const START: Millis = 1_700_000_000_000;
+export const WINDOW_MS: Millis = 60_000;
+const READ_LIMIT = 4;
+const KEYS = { keyWindowMs: WINDOW_MS, maxUntimedKeys: 100 };
+const NONCES = {
+  windowMs: WINDOW_MS,
+  answerKeepMs: 5_000,
+  maxAnswerBytes: 64,
+  maxEntries: 1_000,
+};
+export const LIMITS: IntentLimits = { ...DEFAULT_INTENT_LIMITS, maxRecordTries: 3 };
+
+/** The timed keys were issued at the start; the last one has no time of issue. */
+export const MODEL_KEYS = [
+  { key: 'timed-0', issuedAt: START },
+  { key: 'timed-1', issuedAt: START },
+  { key: 'untimed', issuedAt: null },
+] as const;
+
+/** Creates a UUIDv7 from a time and the world's sequence number. */
+export const createModelId = (world: { sequence: number }, at: Millis): string => {
+  world.sequence += 1;
+  const time = at.toString(16).padStart(12, '0');
+  const tail = world.sequence.toString(16).padStart(12, '0');
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+};
+
+const createEntry = (index: number): EntryModel => ({
+  id: `entry-${index.toString()}`,
+  skewMs: [0, 20_000, -20_000][index] ?? 0,
+  life: 0,
+  activity: 'running',
+  logSeen: 'up',
+  table: createIntentTable(KEYS),
+  requests: new Map(),
+});
+
+const createEndpoint = (index: number): EndpointModel => ({
+  id: `endpoint-${index.toString()}`,
+  incarnations: [`endpoint-${index.toString()}-0`],
+  table: createNonceTable(`endpoint-${index.toString()}-0`, NONCES),
+  accepting: 'accepting',
+});
+
+/** Creates three entry daemons, two endpoint daemons and an empty log. */
+export const createWorld = (mechanisms: Mechanisms): World => ({
+  mechanisms,
+  now: START,
+  sequence: 0,
+  log: { mode: 'up', records: [], late: [], firstOffset: 0 },
+  observer: createIntentTable(KEYS),
+  entries: [0, 1, 2].map(createEntry),
+  endpoints: [0, 1].map(createEndpoint),
+  tasks: [],
+  owners: new Map(),
+  executedNonces: new Set(),
+  executionsByKey: new Map(),
+  keyOfRequest: new Map(),
+  replies: new Map(),
+  violations: [],
+  statistics: { executions: 0, fences: 0, replays: 0, intents: 0, carried: 0, trimmed: 0 },
+});
+
+/** Adds a task that the network or an endpoint daemon runs. */
+export const addTask = (world: World, run: Task['run']): void => {
+  world.tasks.push({ owner: null, life: 0, dueAt: world.now, run });
+};
+
+/** Adds a task that an entry daemon runs unless it is paused or restarted. */
+export const addEntryTask = (
+  world: World,
+  owner: number,
+  run: Task['run'],
+  delayMs: Millis = 0,
+): void => {
+  const { life } = world.entries[owner] as EntryModel;
+  world.tasks.push({ owner, life, dueAt: world.now + delayMs, run });
+};
+
+const addRecords = (world: World, records: readonly IntentStreamRecord[]): Offset => {
+  const first = world.log.records.length;
+  for (const record of records) {
+    const parsed = parseIntentRecord(JSON.parse(JSON.stringify(record))).unwrap();
+    const offset = world.log.records.push(parsed) - 1;
+    // Time stands still for the observer, so that it never forgets a key.
+    foldIntentRecord(world.observer, offset, parsed, START);
+  }
+  world.observer.standing = 'exact';
+  return first;
+};
+
+/** Appends to the fake log with its mode and a fault. */
+export const appendToLog = (
+  world: World,
+  records: readonly IntentStreamRecord[],
+  fault: Fault,
+): AppendResult => {
+  const { log } = world;
+  if (fault === 'late') {
+    log.late.push(records);
+    return { kind: 'unknown', message: 'timeout' };
+  }
+  if (fault === 'lose-request') return { kind: 'unknown', message: 'timeout' };
+  if (log.mode === 'down') return { kind: 'rejected', message: 'connection refused' };
+  const offset = addRecords(world, records);
+  const lost = fault === 'lose-answer' || log.mode === 'lose-answers';
+  return lost ? { kind: 'unknown', message: 'timeout' } : { kind: 'appended', offset };
+};
+
+/** Lets the oldest late append land. */
+export const addLate = (world: World): void => {
+  const records = world.log.late.shift();
+  if (records !== undefined) addRecords(world, records);
+};
+
+/** With carry-forward disabled, daemons do not see what was carried. */
+const isVisible = (world: World, record: IntentStreamRecord): boolean =>
+  world.mechanisms.carryForward === 'kept' || record.kind !== 'carry-forward';
+
+/** Reads one batch into an entry daemon's table. */
+export const readLog = (world: World, entry: EntryModel): void => {
+  const { log } = world;
+  if (log.mode === 'down') {
+    entry.logSeen = 'out';
+    return;
+  }
+  entry.logSeen = 'up';
+  const from = Math.max(entry.table.nextOffset, log.firstOffset);
+  const to = Math.min(from + READ_LIMIT, log.records.length);
+  const records = log.records
+    .slice(from, to)
+    .map((record, index) => ({ offset: from + index, record }))
+    .filter(({ record }) => isVisible(world, record));
+  const end = to - from < READ_LIMIT ? 'reached' : 'more';
+  const now = world.now + entry.skewMs;
+  const { firstOffset } = log;
+  foldIntentBatch(entry.table, { firstOffset, nextOffset: to, records, end }, now);
+  expireChains(entry.table, now);
+};
+
+/** Drops the records that no live chain needs; the premise that retention waits for carry-forward. */
+export const pruneLog = (world: World): void => {
+  const needed = [...world.observer.chains.values()].map(({ coverOffset }) => coverOffset);
+  const floor = Math.min(world.log.records.length, ...needed);
+  if (floor <= world.log.firstOffset) return;
+  world.log.firstOffset = floor;
+  world.statistics.trimmed += 1;
+};
+
+/** Restarts an entry daemon with nothing but the log. */
+export const restartEntry = (entry: EntryModel): void => {
+  entry.life += 1;
+  entry.activity = 'running';
+  entry.logSeen = 'up';
+  entry.table = createIntentTable(KEYS);
+  entry.requests.clear();
+};
+
+/** Restarts an endpoint daemon with an empty table and a new incarnation. */
+export const restartEndpoint = (endpoint: EndpointModel): void => {
+  const incarnation = `${endpoint.id}-${endpoint.incarnations.length.toString()}`;
+  endpoint.incarnations.push(incarnation);
+  endpoint.table = createNonceTable(incarnation, NONCES);
+};
+
+/** Moves the clock and expires entries at the endpoint daemons. */
+export const updateTime = (world: World, ms: Millis): void => {
+  world.now += ms;
+  for (const { table } of world.endpoints) decideNonce(table, { kind: 'expire', now: world.now });
+};
+
+/** Counts one execution of a nonce and notes a second one of its key. */
+export const recordExecution = (world: World, nonce: Nonce, key: string): void => {
+  const count = (world.executionsByKey.get(key) ?? 0) + 1;
+  world.executionsByKey.set(key, count);
+  world.executedNonces.add(nonce);
+  world.statistics.executions += 1;
+  if (count > 1) world.violations.push(`key ${key} ran ${count.toString()} times`);
+};
