Add clients of the log, the instance list and the weight store

Change: undici clients with Result; an append is appended, rejected (certainly not appended) or unknown. Conclusion: tests against a fastify fake and a connection that is cut pass.

--- /dev/null
+++ b/packages/platform/client/clients.test.ts
@@ -0,0 +1,141 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import fastify from 'fastify';
+import { parseRetryAfter } from './exchange.js';
+import { createListClient } from './listClient.js';
+import { createLogClient } from './logClient.js';
+import { createWeightClient } from './weightClient.js';
+
+type Script =
+  'append' | 'lose-answer' | 'hang' | 'status-400' | 'status-429' | 'status-500' | 'no-json';
+
+/** A small log, list and weight store that answers by the name of the stream or model. */
+const startFake = async (t: ExecutionContext) => {
+  const server = fastify({ forceCloseConnections: true });
+  const records: unknown[] = [];
+  server.post('/streams/:script/records', (incoming, reply) => {
+    const { script } = incoming.params as { script: Script };
+    if (script.startsWith('status-'))
+      return reply
+        .code(Number(script.slice(7)))
+        .header('retry-after', '2')
+        .send();
+    records.push(...(incoming.body as { records: unknown[] }).records);
+    if (script === 'hang') return reply.hijack();
+    if (script === 'lose-answer') {
+      incoming.raw.destroy();
+      return reply.hijack();
+    }
+    return script === 'no-json'
+      ? reply.send('none')
+      : reply.send({ firstOffset: records.length - 1 });
+  });
+  server.get('/streams/:script/records', (incoming, reply) => {
+    const { script } = incoming.params as { script: Script };
+    if (script === 'status-500') return reply.code(500).send();
+    const { from } = incoming.query as { from: string };
+    const page = records.map((body, offset) => ({ offset, at: 7, body })).slice(Number(from));
+    return reply.send({
+      records: page,
+      nextOffset: records.length,
+      firstOffset: script === 'no-json' ? 'x' : 0,
+    });
+  });
+  server.get('/instances', (_incoming, reply) =>
+    reply.send({
+      instances: [
+        { id: 'a', role: 'entry', dataCentre: 'd', state: 'live', rpcUrl: 'r', httpUrl: 'h' },
+      ],
+    }),
+  );
+  server.get('/weights/:model/:version', (incoming, reply) => {
+    const { model } = incoming.params as { model: string };
+    return model === 'busy'
+      ? reply.code(429).header('retry-after', '3').send()
+      : reply.send(Buffer.from('w'));
+  });
+  const baseUrl = await server.listen({ host: '127.0.0.1', port: 0 });
+  t.teardown(() => server.close());
+  return { options: { baseUrl, timeoutMs: 300 }, records, server };
+};
+
+// Guards against a retry of an append that took effect, and against a refusal that claims too much.
+test('an append is appended, rejected or unknown as the log shows', async (t) => {
+  const { options, records } = await startFake(t);
+  const client = createLogClient(options);
+  t.teardown(client.close);
+  t.deepEqual(await client.append('append', [{ a: 1 }]), { kind: 'appended', offset: 0 });
+  t.is((await client.append('status-400', [1])).kind, 'rejected');
+  t.like(await client.append('status-429', [1]), { kind: 'rejected', retryAfterMs: 2_000 });
+  t.is(records.length, 1);
+  for (const script of ['status-500', 'lose-answer', 'hang', 'no-json']) {
+    t.is((await client.append(script, [script])).kind, 'unknown', script);
+  }
+  t.deepEqual(records, [{ a: 1 }, 'lose-answer', 'hang', 'no-json']);
+});
+
+// Guards against an outage that is taken for an unresolved append.
+test('an append to a closed port is rejected, one on a cut connection is unknown', async (t) => {
+  const { options, server } = await startFake(t);
+  await server.close();
+  const refused = createLogClient(options);
+  t.teardown(refused.close);
+  t.is((await refused.append('append', [1])).kind, 'rejected');
+  const cutting = createServer((socket: Socket) => {
+    socket.once('data', () => socket.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    cutting.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => cutting.close());
+  const { port } = cutting.address() as AddressInfo;
+  const cut = createLogClient({ ...options, baseUrl: `http://127.0.0.1:${port.toString()}` });
+  t.teardown(cut.close);
+  t.is((await cut.append('append', [1])).kind, 'unknown');
+});
+
+// Guards against a bad page that is folded, and against an outage that throws.
+test('a read returns checked records or a failure', async (t) => {
+  const { options } = await startFake(t);
+  const client = createLogClient(options);
+  t.teardown(client.close);
+  await client.append('append', ['x', 'y']);
+  const page = await client.read('append', { from: 1, waitMs: 10 });
+  t.deepEqual(page.unwrap(), {
+    records: [{ offset: 1, at: 7, body: 'y' }],
+    nextOffset: 2,
+    firstOffset: 0,
+  });
+  t.like((await client.read('status-500', { from: 0 })).unwrapErr(), {
+    verdict: 'not-run',
+    code: 'log-unavailable',
+  });
+  t.regex((await client.read('no-json', { from: 0 })).unwrapErr().message, /"firstOffset"/);
+  const ended = await client.read('append', { from: 0, signal: AbortSignal.abort() });
+  t.true(ended.isErr());
+});
+
+// Guards against a list that is not checked and a rate limit whose time of retry is lost.
+test('the list and the weight store answer or fail with their reason', async (t) => {
+  const { options } = await startFake(t);
+  const list = createListClient(options);
+  const weights = createWeightClient(options);
+  t.teardown(list.close);
+  t.teardown(weights.close);
+  t.like((await list.fetchInstances()).unwrap()[0], { id: 'a', state: 'live' });
+  t.deepEqual([...(await weights.fetchWeights('m', 'v')).unwrap()], [119]);
+  t.like((await weights.fetchWeights('busy', 'v')).unwrapErr(), {
+    code: 'overloaded',
+    retryAfterMs: 3_000,
+  });
+});
+
+// Guards against a retry time that is read as a number of milliseconds or not at all.
+test('retry-after is read as seconds or as a date', (t) => {
+  t.is(parseRetryAfter('1.5', 0), 1_500);
+  t.is(parseRetryAfter('Thu, 01 Jan 1970 00:00:09 GMT', 4_000), 5_000);
+  t.is(parseRetryAfter('soon', 0), undefined);
+  t.is(parseRetryAfter(undefined, 0), undefined);
+});
--- /dev/null
+++ b/packages/platform/client/listClient.ts
@@ -0,0 +1,41 @@
+import { z } from 'zod';
+import { decodeJson, resolveBody } from './answers.js';
+import { createExchanger } from './exchange.js';
+import type { ClientOptions, Instance, ListClient } from './types.js';
+
+const SERVICE = { name: 'the instance list', code: 'no-endpoint' } as const;
+
+const text = z.string().min(1);
+
+const instanceSchema: z.ZodType<Instance> = z.object({
+  id: text,
+  role: z.enum(['entry', 'endpoint']),
+  dataCentre: text,
+  state: z.enum(['live', 'leaving']),
+  rpcUrl: text,
+  httpUrl: text,
+  model: text.optional(),
+  version: text.optional(),
+  service: text.optional(),
+});
+
+const listSchema = z.object({ instances: z.array(instanceSchema) });
+
+/**
+ * Creates a client of the platform's instance list.
+ *
+ * @param options - root address and timeout
+ * @returns the client
+ */
+export const createListClient = (options: ClientOptions): ListClient => {
+  const { send, close } = createExchanger(options);
+  return {
+    fetchInstances: async () => {
+      const body = resolveBody(SERVICE, await send({ method: 'GET', path: '/instances' }));
+      return body
+        .andThen((bytes) => decodeJson(SERVICE, bytes, listSchema))
+        .map(({ instances }) => instances);
+    },
+    close,
+  };
+};
--- /dev/null
+++ b/packages/platform/client/weightClient.ts
@@ -0,0 +1,22 @@
+import { resolveBody } from './answers.js';
+import { createExchanger } from './exchange.js';
+import type { ClientOptions, WeightClient } from './types.js';
+
+const SERVICE = { name: 'the weight store', code: 'unknown-model' } as const;
+
+/**
+ * Creates a client of the platform's weight store.
+ *
+ * @param options - root address and timeout
+ * @returns the client
+ */
+export const createWeightClient = (options: ClientOptions): WeightClient => {
+  const { send, close } = createExchanger(options);
+  return {
+    fetchWeights: async (model, version) => {
+      const path = `/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`;
+      return resolveBody(SERVICE, await send({ method: 'GET', path }));
+    },
+    close,
+  };
+};
