--- a/packages/decisions/idempotency/carryForward.ts
+++ b/packages/decisions/idempotency/carryForward.ts
@@ -1,7 +1,7 @@
 import { INTENT_FORMAT } from './constants.js';
 import { isKeyExpired } from './keys.js';
 import type { IntentTable, TableChain } from './table.js';
-import type { CarryForwardRecord } from './types.js';
+import type { CarryForwardRecord, ChainState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 
@@ -22,6 +22,19 @@
   return info.firstOffset > 0 && chain.coverOffset < middle;
 };
 
+const toCarried = (state: ChainState, asOf: Offset, now: Millis): CarryForwardRecord => ({
+  kind: 'carry-forward',
+  format: INTENT_FORMAT,
+  customer: state.customer,
+  key: state.key,
+  issuedAt: state.issuedAt,
+  at: now,
+  fingerprint: state.fingerprint,
+  asOf,
+  link: state.link,
+  abandonedEarly: state.abandonedEarly,
+});
+
 /**
  * Plans the records that must be appended again before retention drops them. Several daemons may
  * do so at once: a second copy of a chain's state changes nothing.
@@ -39,21 +52,6 @@
     .filter(({ state }) => !isKeyExpired(state.issuedAt, info.now, table.settings))
     .filter((chain) => isDue(chain, table, info))
     .sort((left, right) => left.coverOffset - right.coverOffset)
-    .flatMap(({ state }): readonly CarryForwardRecord[] => {
-      if (state.link === null || state.fingerprint === null) return [];
-      return [
-        {
-          kind: 'carry-forward',
-          format: INTENT_FORMAT,
-          customer: state.customer,
-          key: state.key,
-          issuedAt: state.issuedAt,
-          at: info.now,
-          fingerprint: state.fingerprint,
-          asOf: table.nextOffset,
-          link: state.link,
-        },
-      ];
-    })
-    .slice(0, info.maxRecords);
+    .slice(0, info.maxRecords)
+    .map(({ state }) => toCarried(state, table.nextOffset, info.now));
 };
--- a/packages/decisions/idempotency/chain.ts
+++ b/packages/decisions/idempotency/chain.ts
@@ -43,7 +43,7 @@
   issuedAt: record.issuedAt,
   fingerprint: record.fingerprint,
   link: record.link,
-  abandonedEarly: [],
+  abandonedEarly: record.abandonedEarly,
 });
 
 const toLink = (record: IntentRecord, standing: ChainLink['standing']): ChainLink => ({
