--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -18,6 +18,7 @@
   coldFactor: 6,
   acceptedGapMs: 0,
   settleMs: 1_000,
+  memoryBound: 'predicted',
   horizonMs: 30_000,
   overflowProbability: 0.02,
 };
--- a/packages/decisions/admission/decideAdmit.ts
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -7,6 +7,7 @@
   AdmitDecision,
   RunningSequence,
 } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import { computeClassLimit, computeClassMemory } from '../placement/eligible.js';
@@ -68,6 +69,26 @@
   return estimateMemory(budget, change).overflowProbability;
 };
 
+/** An idle engine takes any request that fits now, or a long one would wait for ever. */
+const hasMemory = (
+  state: AdmissionState,
+  request: AdmissionRequest,
+  context: AdmissionContext,
+): boolean => {
+  const { settings } = context;
+  if (state.running.size === 0) return true;
+  switch (settings.memoryBound) {
+    case 'none':
+      return true;
+    case 'predicted': {
+      const accepted = request.targets.overflowProbability ?? settings.overflowProbability;
+      return estimateOverflow(state, request, context) <= accepted;
+    }
+    default:
+      return assertNever(settings.memoryBound);
+  }
+};
+
 const estimateRetryAfter = (state: AdmissionState, survival: SurvivalView): Millis => {
   let fewest = Infinity;
   for (const sequence of state.running.values()) {
@@ -112,11 +133,7 @@
   if (countUnconfirmed(state) >= settings.maxUnconfirmed) {
     return buildRefusal('the engine must confirm its latest sequences', MIN_RETRY_AFTER_MS);
   }
-  // An idle engine takes any request that fits now, or a long one would wait for ever.
-  if (state.running.size === 0) return { kind: 'admit' };
-  const accepted = request.targets.overflowProbability ?? settings.overflowProbability;
-  if (estimateOverflow(state, request, context) > accepted) {
-    return buildRefusal('memory would overflow', estimateRetryAfter(state, survival));
-  }
-  return { kind: 'admit' };
+  return hasMemory(state, request, context)
+    ? { kind: 'admit' }
+    : buildRefusal('memory would overflow', estimateRetryAfter(state, survival));
 };
--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -151,6 +151,8 @@
   readonly acceptedGapMs: Millis;
   /** Time after a change in which no further decrease follows: gaps lag behind the limit. */
   readonly settleMs: Millis;
+  /** Whether predicted memory bounds the running sequences besides the limit. */
+  readonly memoryBound: 'predicted' | 'none';
   readonly horizonMs: Millis;
   readonly overflowProbability: number;
 }
--- /dev/null
+++ b/packages/decisions/placement/crowded/engine.ts
@@ -0,0 +1,134 @@
+import type { Millis } from '../../../core/clock.js';
+import type { RequestId } from '../../../core/ids.js';
+
+/** Time between tokens with one sequence in the batch, and its growth per further sequence. */
+const BASE_GAP_MS = 20;
+const GAP_PER_SEQUENCE_MS = 0.4;
+/** Prompt tokens per millisecond; decoding slows down while prompts are read. */
+const PREFILL_TOKENS_PER_MS = 10;
+const PREFILL_SLOW_DOWN = 1.3;
+/** Free share of memory that the engine asks for before it starts a sequence. */
+const START_MEMORY_SHARE = 0.01;
+
+/** A sequence in the fluid model; `generated` grows continuously. */
+export interface EngineSequence {
+  readonly requestId: RequestId;
+  readonly className: string;
+  /** Larger numbers go first and are preempted last. */
+  readonly priority: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly arrivedAt: Millis;
+  phase: 'waiting' | 'prefill' | 'decoding';
+  generated: number;
+  prefillLeft: number;
+  preemptions: number;
+  stallMs: Millis;
+}
+
+/** One engine of the fluid model: batch steps, limited memory, preemption by recomputation. */
+export interface ModelEngine {
+  readonly name: string;
+  readonly memoryTokens: number;
+  sequences: EngineSequence[];
+  preemptions: number;
+  /** Output tokens per second in the last step. */
+  tokensPerSecond: number;
+  gapMs: Millis;
+}
+
+/** What happened in one step. */
+export interface EngineStep {
+  readonly finished: readonly EngineSequence[];
+  readonly firstTokens: readonly EngineSequence[];
+}
+
+/** Creates an idle engine. */
+export const createModelEngine = (name: string, memoryTokens: number): ModelEngine => ({
+  name,
+  memoryTokens,
+  sequences: [],
+  preemptions: 0,
+  tokensPerSecond: 0,
+  gapMs: BASE_GAP_MS,
+});
+
+const getSize = (sequence: EngineSequence): number => sequence.promptTokens + sequence.generated;
+
+const listRunning = (engine: ModelEngine): EngineSequence[] =>
+  engine.sequences.filter((sequence) => sequence.phase !== 'waiting');
+
+/** Counts the tokens of memory in use. */
+export const countMemory = (engine: ModelEngine): number =>
+  listRunning(engine).reduce((sum, sequence) => sum + getSize(sequence), 0);
+
+const compareOrder = (left: EngineSequence, right: EngineSequence): number =>
+  right.priority - left.priority || left.arrivedAt - right.arrivedAt;
+
+const startWaiting = (engine: ModelEngine): void => {
+  let used = countMemory(engine);
+  const waiting = engine.sequences.filter((sequence) => sequence.phase === 'waiting');
+  for (const sequence of waiting.sort(compareOrder)) {
+    const size = getSize(sequence);
+    if (used > 0 && used + size > engine.memoryTokens * (1 - START_MEMORY_SHARE)) return;
+    sequence.phase = 'prefill';
+    sequence.prefillLeft = size;
+    used += size;
+  }
+};
+
+const runPrefill = (engine: ModelEngine, durationMs: Millis): boolean => {
+  let budget = durationMs * PREFILL_TOKENS_PER_MS;
+  const prefilling = engine.sequences.filter((sequence) => sequence.phase === 'prefill');
+  for (const sequence of prefilling.sort(compareOrder)) {
+    const done = Math.min(budget, sequence.prefillLeft);
+    sequence.prefillLeft -= done;
+    budget -= done;
+    if (sequence.prefillLeft <= 0) sequence.phase = 'decoding';
+  }
+  return prefilling.length > 0;
+};
+
+/** Preempts the sequence of the lowest priority that came last, until memory suffices. */
+const clearOverflow = (engine: ModelEngine): void => {
+  const running = listRunning(engine).sort(compareOrder);
+  let used = running.reduce((sum, sequence) => sum + getSize(sequence), 0);
+  while (used > engine.memoryTokens && running.length > 1) {
+    const victim = running.pop();
+    if (victim === undefined) return;
+    used -= getSize(victim);
+    victim.phase = 'waiting';
+    victim.preemptions += 1;
+    engine.preemptions += 1;
+  }
+};
+
+/**
+ * Moves an engine forward.
+ *
+ * @param engine - updated in place
+ * @param durationMs - length of the step
+ * @returns sequences that finished or showed their first token
+ */
+export const runEngine = (engine: ModelEngine, durationMs: Millis): EngineStep => {
+  startWaiting(engine);
+  const isPrefilling = runPrefill(engine, durationMs);
+  const decoding = engine.sequences.filter((sequence) => sequence.phase === 'decoding');
+  const slowDown = isPrefilling ? PREFILL_SLOW_DOWN : 1;
+  engine.gapMs = (BASE_GAP_MS + GAP_PER_SEQUENCE_MS * decoding.length) * slowDown;
+  engine.tokensPerSecond = (1_000 / engine.gapMs) * decoding.length;
+  const firstTokens: EngineSequence[] = [];
+  for (const sequence of decoding) {
+    if (sequence.generated < 1 && sequence.generated + durationMs / engine.gapMs >= 1) {
+      firstTokens.push(sequence);
+    }
+    sequence.generated += durationMs / engine.gapMs;
+  }
+  for (const sequence of engine.sequences) {
+    if (sequence.phase !== 'decoding' && sequence.generated >= 1) sequence.stallMs += durationMs;
+  }
+  const finished = decoding.filter((sequence) => sequence.generated >= sequence.outputTokens);
+  engine.sequences = engine.sequences.filter((sequence) => !finished.includes(sequence));
+  clearOverflow(engine);
+  return { finished, firstTokens };
+};
