Add version moves with a sequential test of the new version

Change: decideShare and decideMove; evidence is a test martingale over stratified two-by-two tables and one against the past of the old version, both safe under continuous looking.

--- /dev/null
+++ b/packages/decisions/moves/move.test.ts
@@ -0,0 +1,147 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { addEvidence, collectRoutes, initEvidence, observeEvidence } from './evidence.js';
+import { decideMove, getShare, initMove } from './move.js';
+import { MOVE } from './moveSimulation.fixture.js';
+import {
+  CLEAR_LOG_RATIO,
+  computeLogRatio,
+  computePastFactor,
+  computePresentFactor,
+  computeUpperRate,
+  initSequentialTest,
+  updateSequentialTest,
+} from './sequentialTest.js';
+import { chooseVersion } from './share.js';
+import type { EvidenceReport } from './types.js';
+import { createRandomSource } from '../../core/random.js';
+
+const SEED = 49;
+const RUNS = 500;
+
+const countCombinations = (from: number, chosen: number): number => {
+  let result = 1;
+  for (let index = 0; index < chosen; index += 1) result *= (from - index) / (index + 1);
+  return result;
+};
+
+// Guards against a test whose false-alarm rate is not the stated one: under the null hypothesis
+// the mean of each likelihood ratio must be exactly 1.
+test('likelihood ratios have mean 1 when the new version is as good as the old one', (t) => {
+  const property = fc.property(
+    fc.integer({ min: 1, max: 30 }),
+    fc.integer({ min: 1, max: 30 }),
+    fc.nat(60),
+    fc.constantFrom(3, 10, 50),
+    (fresh, old, wanted, oddsRatio) => {
+      const faults = Math.min(wanted, fresh + old);
+      let mean = 0;
+      for (let count = Math.max(0, faults - old); count <= Math.min(faults, fresh); count += 1) {
+        const ways = countCombinations(fresh, count) * countCombinations(old, faults - count);
+        const factor = computePresentFactor(
+          { answers: fresh, faults: count },
+          { answers: old, faults: faults - count },
+          oddsRatio,
+        );
+        mean += (ways / countCombinations(fresh + old, faults)) * Math.exp(factor);
+      }
+      return Math.abs(mean - 1) < 1e-9;
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  const rate = 0.07;
+  const hit = Math.exp(computePastFactor({ answers: 1, faults: 1 }, rate, 10));
+  const miss = Math.exp(computePastFactor({ answers: 1, faults: 0 }, rate, 10));
+  t.true(Math.abs(rate * hit + (1 - rate) * miss - 1) < 1e-9);
+});
+
+// Guards against numbers that overflow when a whole fleet fails at once.
+test('large counts give finite evidence in the right direction', (t) => {
+  const worse = computePresentFactor(
+    { answers: 90_000, faults: 60_000 },
+    { answers: 90_000, faults: 900 },
+    50,
+  );
+  const same = computePresentFactor(
+    { answers: 90_000, faults: 60_000 },
+    { answers: 90_000, faults: 60_000 },
+    50,
+  );
+  t.true(Number.isFinite(worse) && worse > 1_000);
+  t.true(Number.isFinite(same) && same < 0);
+  t.true(computeUpperRate({ answers: 1_000, faults: 10 }) < 0.05);
+  t.is(computeUpperRate({ answers: 0, faults: 0 }), 1);
+});
+
+// Guards against false alarms by continuous looking: 20,000 looks at two equal versions.
+test('continuous looking at equal versions gives no clear fault', (t) => {
+  const random = createRandomSource(SEED);
+  const sampleTally = (answers: number) => ({
+    answers,
+    faults: Array.from({ length: answers }, () => random.next()).filter((draw) => draw < 0.05)
+      .length,
+  });
+  let sequential = initSequentialTest();
+  let largest = 0;
+  for (let look = 0; look < 20_000; look += 1) {
+    const fresh = sampleTally(3);
+    const old = sampleTally(12);
+    const factors = [3, 10, 50].map((ratio) => computePresentFactor(fresh, old, ratio));
+    sequential = updateSequentialTest(sequential, factors, 0.5 / 20_000);
+    largest = Math.max(largest, computeLogRatio(sequential));
+  }
+  t.true(largest < CLEAR_LOG_RATIO);
+});
+
+const buildReport = (incarnation: string, version: string, successes: number): EvidenceReport => ({
+  endpoint: 'e',
+  incarnation,
+  dataCentre: 'd',
+  version,
+  counts: [{ route: 'r', className: 'c', successes, failures: successes / 2, slow: 0 }],
+});
+
+// Guards against evidence that is counted twice, taken back, or lost with its incarnation.
+test('repeated, late and reordered reports add up to the newest count of each incarnation', (t) => {
+  const reports = ['i1', 'i2'].flatMap((incarnation) =>
+    [2, 4, 10].map((successes) => buildReport(incarnation, MOVE.to, successes)),
+  );
+  const anyOrder = fc.tuple(fc.shuffledSubarray(reports, { minLength: 6 }), fc.subarray(reports));
+  const property = fc.property(anyOrder, ([order, repeated]) => {
+    let evidence = initEvidence(0);
+    for (const report of [...order, ...repeated]) {
+      evidence = observeEvidence(addEvidence(evidence, MOVE, report, 0), MOVE, 0);
+    }
+    return collectRoutes(evidence).get('r')?.answers === 30;
+  });
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  t.pass();
+});
+
+// Guards against a request that changes its version back while the share grows.
+test('a request that goes to the new version stays there at every larger share', (t) => {
+  const share = fc.double({ min: 0, max: 1, noNaN: true });
+  const property = fc.property(share, share, fc.nat(2 ** 32 - 1), (left, right, hash) => {
+    const larger = chooseVersion(Math.max(left, right), hash);
+    return chooseVersion(Math.min(left, right), hash) === 'old' || larger === 'new';
+  });
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  t.is(chooseVersion(0, 0), 'old');
+  t.is(chooseVersion(1, 2 ** 32 - 1), 'new');
+});
+
+// Guards against a stop that waits for the log, and against a lost append that is never repeated.
+test('a stop is local at once, and its record is appended until it is read back', (t) => {
+  const moving = decideMove(initMove(), { kind: 'move-record', move: MOVE, now: 0 }).state;
+  t.is(getShare(moving, 'r'), 0.04);
+  const stopped = decideMove(moving, { kind: 'take-back-order', author: 'o', now: 10 });
+  t.is(getShare(stopped.state, 'r'), 0);
+  t.deepEqual(stopped.effects.at(-1), { kind: 'append-ended', name: 'm', outcome: 'taken-back' });
+  const again = decideMove(stopped.state, { kind: 'tick', now: 2_010 });
+  t.deepEqual(again.effects, [{ kind: 'append-ended', name: 'm', outcome: 'taken-back' }]);
+  const done = { kind: 'ended-record', name: 'm', outcome: 'done', offset: 4 } as const;
+  const overruled = decideMove(again.state, done);
+  t.like(overruled.effects.at(-1), { kind: 'needs-operator', reason: 'faults-after-done' });
+  const late = { ...done, outcome: 'taken-back', offset: 5 } as const;
+  t.is(decideMove(overruled.state, late).state.phase, 'done');
+});
--- /dev/null
+++ b/packages/decisions/moves/moveSimulation.fixture.ts
@@ -0,0 +1,258 @@
+import { decideMove, getShare, initMove } from './move.js';
+import { chooseVersion } from './share.js';
+import type { EvidenceCounts, Move, MoveEvent, MoveOutcome, MoveState } from './types.js';
+import { createRandomSource } from '../../core/random.js';
+
+export type VersionBehaviour =
+  | 'good'
+  | 'fails-always'
+  | 'fails-half'
+  | 'slow'
+  | 'fails-late'
+  | 'fails-under-load'
+  | 'fails-on-one-route';
+
+export interface MoveRun {
+  /** First terminal record in the log, with the instant of its append. */
+  readonly record: { readonly outcome: MoveOutcome; readonly at: number } | null;
+  /** Outcome at each entry daemon at the end. */
+  readonly phases: readonly string[];
+  /** Requests up to the last one that went to the new version, and those of the new version. */
+  readonly requests: number;
+  readonly requestsToNew: number;
+  /** Requests to the new version later than 5 s after the fault was clear. */
+  readonly lateToNew: number;
+  /** Instant at which the fault had hit ten requests. */
+  readonly clearAt: number;
+  /** Time from there to the last request that went to the new version. */
+  readonly reactionMs: number;
+  readonly operatorCalls: number;
+}
+
+export interface MoveScenario {
+  readonly seed: number;
+  readonly behaviour: VersionBehaviour;
+  readonly requestsPerSecond: number;
+  /** Instant of an operator's order to take the version back, at the last entry daemon. */
+  readonly orderAt?: number;
+}
+
+export const MOVE: Move = {
+  name: 'm',
+  model: 'large',
+  from: 'v1',
+  to: 'v2',
+  startedAt: 0,
+  deadline: 300_000,
+};
+
+const STEP_MS = 100;
+const LOOK_MS = 500;
+const ENTRIES = 3;
+const ROUTES = ['/chat', '/batch'];
+const CLASSES = ['lookup', 'memo'];
+const DATA_CENTRES = ['east', 'west'];
+const CLEAR_HITS = 10;
+const BOUND_MS = 5_000;
+const LATE_FROM_MS = 130_000;
+const LOSS = 0.2;
+const BASE_FAILURES = 0.005;
+const BASE_SLOW = 0.02;
+
+interface SimulatedEndpoint {
+  readonly version: 'v1' | 'v2';
+  readonly dataCentre: string;
+  incarnation: number;
+  counts: Map<string, EvidenceCounts>;
+}
+
+/** A request that ends later: whether the version's own fault hits it is drawn at its start. */
+interface RunningRequest {
+  readonly endpoint: SimulatedEndpoint;
+  readonly incarnation: number;
+  readonly route: string;
+  readonly className: string;
+  readonly failed: boolean;
+  readonly slow: boolean;
+  readonly hit: boolean;
+}
+
+/** Probability with which the new version's own fault makes a request fail. */
+const computeFault = (
+  behaviour: VersionBehaviour,
+  now: number,
+  route: string,
+  newShare: number,
+): number => {
+  switch (behaviour) {
+    case 'fails-always':
+      return 1;
+    case 'fails-half':
+      return 0.5;
+    case 'fails-late':
+      return now >= LATE_FROM_MS ? 0.5 : 0;
+    case 'fails-under-load':
+      return newShare > 0.3 ? 0.5 : 0;
+    case 'fails-on-one-route':
+      return route === '/batch' ? 0.6 : 0;
+    case 'good':
+    case 'slow':
+      return 0;
+  }
+};
+
+/**
+ * Runs one move of 300 s over three entry daemons, eight endpoints and two data centres.
+ *
+ * Faults of the surroundings: a fifth of the reports is lost, others are late by up to 2 s and
+ * reordered, endpoints restart, the log is out for up to 40 s, and for 20 s both versions become
+ * slow and fail more often.
+ *
+ * @param scenario - seed, version, load and operator
+ * @returns what happened, against the ground truth
+ */
+export const runMove = ({ seed, behaviour, requestsPerSecond, orderAt }: MoveScenario): MoveRun => {
+  const random = createRandomSource(seed);
+  const entries: MoveState[] = Array.from({ length: ENTRIES }, initMove);
+  const endpoints = (['v1', 'v2'] as const).flatMap((version) =>
+    [0, 1, 2, 3].map((index): SimulatedEndpoint => ({
+      version,
+      dataCentre: DATA_CENTRES[index % 2] as string,
+      incarnation: 0,
+      counts: new Map(),
+    })),
+  );
+  const running = new Map<number, RunningRequest[]>();
+  const inbox = new Map<number, { readonly entry: number; readonly event: MoveEvent }[]>();
+  const outageFrom = random.next() * 250_000;
+  const outageTo = outageFrom + random.next() * 40_000;
+  const spikeFrom = random.next() * 250_000;
+  let now = 0;
+  let record: MoveRun['record'] = null;
+  let started = 0;
+  let requests = 0;
+  let requestsToNew = 0;
+  let lateToNew = 0;
+  let hits = 0;
+  let clearAt = Infinity;
+  let lastNewAt = 0;
+  let operatorCalls = 0;
+  let newShare = 0;
+
+  const addAt = <Item>(table: Map<number, Item[]>, delay: number, item: Item): void => {
+    const at = now + Math.max(STEP_MS, Math.ceil(delay / STEP_MS) * STEP_MS);
+    table.set(at, [...(table.get(at) ?? []), item]);
+  };
+
+  const appendRecord = (outcome: MoveOutcome): void => {
+    if (now >= outageFrom && now < outageTo) return;
+    record ??= { outcome, at: now };
+    const { outcome: first } = record;
+    const event = { kind: 'ended-record', name: MOVE.name, outcome: first, offset: 1 } as const;
+    for (let entry = 0; entry < ENTRIES; entry += 1) {
+      addAt(inbox, random.next() * 500, { entry, event });
+    }
+  };
+
+  const stepEntry = (index: number, event: MoveEvent): void => {
+    const step = decideMove(entries[index] as MoveState, event);
+    entries[index] = step.state;
+    for (const effect of step.effects) {
+      if (effect.kind === 'append-ended') appendRecord(effect.outcome);
+      if (effect.kind === 'needs-operator') operatorCalls += 1;
+    }
+  };
+
+  const startRequest = (entry: MoveState): void => {
+    const route = ROUTES[random.next() < 0.6 ? 0 : 1] as string;
+    const className = CLASSES[random.next() < 0.7 ? 0 : 1] as string;
+    const hash = Math.floor(random.next() * 2 ** 32);
+    const isNew = chooseVersion(getShare(entry, route), hash) === 'new';
+    const endpoint = endpoints[(isNew ? 4 : 0) + Math.floor(random.next() * 4)];
+    if (endpoint === undefined) return;
+    started += 1;
+    if (isNew) {
+      requests = started;
+      requestsToNew += 1;
+      lastNewAt = now;
+      if (now > clearAt + BOUND_MS) lateToNew += 1;
+    }
+    newShare = newShare * 0.99 + (isNew ? 0.01 : 0);
+    const spike = now >= spikeFrom && now < spikeFrom + 20_000 ? 4 : 1;
+    const faulty = isNew && random.next() < computeFault(behaviour, now, route, newShare);
+    const slowed = isNew && behaviour === 'slow' && random.next() < 0.8;
+    const failed = faulty || random.next() < BASE_FAILURES * spike;
+    const slow = slowed || random.next() < BASE_SLOW * spike;
+    const { incarnation } = endpoint;
+    const request = { endpoint, incarnation, route, className, failed, slow };
+    addAt(running, 200 + random.next() * 800, { ...request, hit: faulty || slowed });
+  };
+
+  const endRequest = (request: RunningRequest): void => {
+    const { endpoint, route, className, failed, slow } = request;
+    if (request.incarnation !== endpoint.incarnation) return;
+    if (request.hit) hits += 1;
+    if (hits === CLEAR_HITS) clearAt = Math.min(clearAt, now);
+    const key = `${route} ${className}`;
+    const before = endpoint.counts.get(key) ?? {
+      route,
+      className,
+      successes: 0,
+      failures: 0,
+      slow: 0,
+    };
+    endpoint.counts.set(key, {
+      ...before,
+      successes: before.successes + (failed ? 0 : 1),
+      failures: before.failures + (failed ? 1 : 0),
+      slow: before.slow + (!failed && slow ? 1 : 0),
+    });
+  };
+
+  const sendReports = (): void => {
+    endpoints.forEach((endpoint, index) => {
+      const { version, dataCentre } = endpoint;
+      const incarnation = endpoint.incarnation.toString().padStart(4, '0');
+      const counts = [...endpoint.counts.values()];
+      const report = { endpoint: index.toString(), incarnation, dataCentre, version, counts };
+      for (let entry = 0; entry < ENTRIES; entry += 1) {
+        if (random.next() < LOSS) continue;
+        const delay = random.next() < 0.1 ? random.next() * 2_000 : random.next() * 200;
+        addAt(inbox, delay, { entry, event: { kind: 'evidence', report, now: now + delay } });
+      }
+    });
+  };
+
+  const restartEndpoint = (): void => {
+    const endpoint = endpoints[Math.floor(random.next() * endpoints.length)];
+    if (endpoint === undefined) return;
+    endpoint.incarnation += 1;
+    endpoint.counts = new Map();
+  };
+
+  for (let entry = 0; entry < ENTRIES; entry += 1) {
+    stepEntry(entry, { kind: 'move-record', move: MOVE, now: 0 });
+  }
+  for (now = 0; now <= MOVE.deadline; now += STEP_MS) {
+    for (const { entry, event } of inbox.get(now) ?? []) stepEntry(entry, event);
+    for (const request of running.get(now) ?? []) endRequest(request);
+    inbox.delete(now);
+    running.delete(now);
+    const arrivals = (requestsPerSecond * STEP_MS) / 1_000;
+    const count = Math.floor(arrivals + random.next());
+    for (let index = 0; index < count; index += 1) {
+      startRequest(entries[Math.floor(random.next() * ENTRIES)] as MoveState);
+    }
+    if (now % LOOK_MS === 0) sendReports();
+    if (random.next() < 0.0005) restartEndpoint();
+    if (orderAt !== undefined && now === orderAt) {
+      stepEntry(ENTRIES - 1, { kind: 'take-back-order', author: 'operator', now });
+    }
+    entries.forEach((_, index) => {
+      if ((now + index * STEP_MS) % LOOK_MS === 0) stepEntry(index, { kind: 'tick', now });
+    });
+  }
+  const phases = entries.map((entry) => entry.phase);
+  const reactionMs = lastNewAt - clearAt;
+  return { record, phases, requests, requestsToNew, lateToNew, clearAt, reactionMs, operatorCalls };
+};
