Spread the configuration to endpoint daemons with the heartbeats' answers

An endpoint daemon folds the same records as the entry daemons, from its own offset on, and refuses new work while its data centre is out.

--- /dev/null
+++ b/packages/endpoint/heartbeats/configuration.ts
@@ -0,0 +1,62 @@
+import type { EndpointEffect, HeartbeatAnswer } from '../types.js';
+import { applySnapshot } from '../../decisions/configuration/exchange.js';
+import { foldControlRecord } from '../../decisions/configuration/fold.js';
+import { parseControlRecord, parseSnapshot } from '../../decisions/configuration/records.js';
+import type { ConfigurationState, RawRecord } from '../../decisions/configuration/types.js';
+
+/** Result of taking over what a heartbeat's answer carries. */
+export interface ConfigurationUpdate {
+  readonly configuration: ConfigurationState;
+  readonly effects: readonly EndpointEffect[];
+}
+
+const logRejected = (message: string): EndpointEffect => ({
+  kind: 'log',
+  name: 'record-rejected',
+  details: { data: { message } },
+});
+
+const takeSnapshot = (state: ConfigurationState, json: unknown): ConfigurationUpdate => {
+  if (json === null) return { configuration: state, effects: [] };
+  const parsed = parseSnapshot(json);
+  return parsed.isOk()
+    ? { configuration: applySnapshot(state, parsed.value), effects: [] }
+    : { configuration: state, effects: [logRejected(parsed.error.message)] };
+};
+
+const takeRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
+  const { configuration, effects } = update;
+  // Records after a gap wait for the next answer, which starts at this process's own offset.
+  if (raw.offset !== configuration.nextOffset) return update;
+  const parsed = parseControlRecord(raw.body);
+  const record = parsed.isOk() ? parsed.value : null;
+  const fold = foldControlRecord(configuration, raw, record);
+  const rejected = parsed.isErr() ? [logRejected(parsed.error.message)] : [];
+  if (fold.result.kind !== 'in-force') {
+    return { configuration: fold.state, effects: [...effects, ...rejected] };
+  }
+  const { kind, entity, author } = fold.result.entry;
+  const applied: EndpointEffect = {
+    kind: 'log',
+    name: 'configuration-applied',
+    details: {
+      entity,
+      position: { stream: 'control', offset: raw.offset },
+      data: { kind, author },
+    },
+  };
+  return { configuration: fold.state, effects: [...effects, applied] };
+};
+
+/**
+ * Takes over the part of the configuration that a heartbeat's answer carries.
+ *
+ * @param state - own configuration
+ * @param answer - answer of an entry daemon, which may be behind this process
+ * @returns the next configuration; its offset never goes back
+ */
+export const applyHeartbeatAnswer = (
+  state: ConfigurationState,
+  answer: HeartbeatAnswer,
+): ConfigurationUpdate =>
+  answer.records.reduce<ConfigurationUpdate>(takeRecord, takeSnapshot(state, answer.snapshot));
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -1,3 +1,4 @@
+import { applyHeartbeatAnswer } from './configuration.js';
 import type { HeartbeatsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -6,6 +7,8 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
+import { createConfiguration } from '../../decisions/configuration/fold.js';
+import { buildView } from '../../decisions/configuration/view.js';
 import { chooseHeartbeatTargets } from '../../decisions/membership/heartbeatTargets.js';
 import type { TextHash } from '../../decisions/membership/heartbeatTargets.js';
 import { decideLease, initLease } from '../../decisions/membership/lease.js';
@@ -14,11 +17,18 @@
   LeaseEvent,
   LeaseStatus,
 } from '../../decisions/membership/leaseTypes.js';
-import type { EndpointEffect, HeartbeatContent, HeartbeatsEvent, ListedEntry } from '../types.js';
+import type {
+  EndpointEffect,
+  HeartbeatAnswer,
+  HeartbeatContent,
+  HeartbeatsEvent,
+  ListedEntry,
+} from '../types.js';
 
 export interface HeartbeatsInputs {
   readonly now: () => Millis;
   readonly endpoint: string;
+  readonly dataCentre: string;
   readonly incarnation: Incarnation;
   readonly startedAt: Millis;
   readonly intervalMs: Millis;
@@ -27,7 +37,6 @@
   readonly getEntries: () => readonly ListedEntry[];
   /** What the next heartbeat says, without its sequence number. */
   readonly describeLoad: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
-  readonly getConfigurationOffset: () => number;
 }
 
 type HeartbeatsStep = Step<HeartbeatsState, EndpointEffect>;
@@ -103,7 +112,7 @@
   const content: HeartbeatContent = {
     ...inputs.describeLoad(),
     sequence,
-    configurationOffset: inputs.getConfigurationOffset(),
+    configurationOffset: state.configuration.nextOffset,
   };
   const sends = entries.map(({ id, rpcUrl }): EndpointEffect => ({
     kind: 'send-heartbeat',
@@ -114,6 +123,20 @@
   return toStep({ ...sent.state, sequence }, ...sent.effects, ...sends);
 };
 
+const takeConfiguration = (
+  state: HeartbeatsState,
+  answer: HeartbeatAnswer,
+  inputs: HeartbeatsInputs,
+): HeartbeatsStep => {
+  const update = applyHeartbeatAnswer(state.configuration, answer);
+  if (update.configuration === state.configuration) return toStep(state, ...update.effects);
+  const view = buildView(update.configuration);
+  const next = { ...state, configuration: update.configuration, view };
+  const dataCentre = view.dataCentresOut.includes(inputs.dataCentre) ? 'out' : 'in';
+  const step = applyLease(next, { kind: 'configuration', dataCentre, offset: view.offset });
+  return toStep(step.state, ...update.effects, ...step.effects);
+};
+
 const decide = (
   state: HeartbeatsState,
   event: HeartbeatsEvent,
@@ -131,9 +154,13 @@
     case 'beat':
       return sendBeat(state, inputs);
     case 'acknowledged': {
+      // The configuration counts before the lease: work let in by the lease must know it.
+      const configured = takeConfiguration(state, event.answer, inputs);
       const { from, sequence } = event;
       const now = inputs.now();
-      return applyLease(state, { kind: 'heartbeat-acknowledged', sequence, from, now });
+      const acknowledged = { kind: 'heartbeat-acknowledged', sequence, from, now } as const;
+      const step = applyLease(configured.state, acknowledged);
+      return toStep(step.state, ...configured.effects, ...step.effects);
     }
     case 'beat-failed':
       return applyLease(state, { kind: 'tick', now: inputs.now() });
@@ -152,10 +179,17 @@
 export const createHeartbeatsLogic = (
   inputs: HeartbeatsInputs,
 ): ChildLogic<HeartbeatsState, HeartbeatsEvent, EndpointEffect> => ({
-  init: () =>
-    toStep<HeartbeatsState, EndpointEffect>(
-      { lease: initLease(inputs.incarnation), sequence: 0 },
+  init: () => {
+    const configuration = createConfiguration();
+    return toStep<HeartbeatsState, EndpointEffect>(
+      {
+        lease: initLease(inputs.incarnation),
+        sequence: 0,
+        configuration,
+        view: buildView(configuration),
+      },
       { kind: 'post', event: { to: 'heartbeats', kind: 'beat-due' } },
-    ),
+    );
+  },
   decide: (state, event) => decide(state, event, inputs),
 });
--- a/packages/endpoint/heartbeats/types.ts
+++ b/packages/endpoint/heartbeats/types.ts
@@ -1,7 +1,10 @@
+import type { ConfigurationState, ConfigurationView } from '../../decisions/configuration/types.js';
 import type { LeaseState } from '../../decisions/membership/leaseTypes.js';
 
-/** Lease and sequence of the heartbeats of this incarnation. */
+/** Lease, sequence of the heartbeats, and the configuration that their answers bring. */
 export interface HeartbeatsState {
   readonly lease: LeaseState;
   readonly sequence: number;
+  readonly configuration: ConfigurationState;
+  readonly view: ConfigurationView;
 }
--- a/packages/endpoint/main.ts
+++ b/packages/endpoint/main.ts
@@ -35,6 +35,7 @@
     daemon.stop();
     cradle.entries.close();
     await cradle.engine.close();
+    await cradle.list.close();
     await http.close();
     await rpc.close();
     return reason;
--- a/packages/endpoint/platform/listAdapter.ts
+++ b/packages/endpoint/platform/listAdapter.ts
@@ -1,22 +1,30 @@
-import { createListClient } from '../../platform/listClient.js';
+import { createListClient } from '../../platform/client/listClient.js';
+import { LIST_TIMEOUT_MS } from './constants.js';
 import type { EndpointEvent } from '../types.js';
 
+/** Adapter to the instance list. */
+export interface ListAdapter {
+  /** Starts one read; its answer becomes an event. */
+  readonly fetchList: () => void;
+  readonly close: () => Promise<void>;
+}
+
 /**
  * Creates the adapter that reads the instance list.
  *
  * @param listUrl - base URL of the list
  * @param instance - instance of this process
  * @param post - receives the answers
- * @returns a function that starts one read
+ * @returns the adapter
  */
 export const createListAdapter = (
   listUrl: string,
   instance: string,
   post: (event: EndpointEvent) => void,
-): (() => void) => {
-  const client = createListClient({ baseUrl: listUrl });
+): ListAdapter => {
+  const client = createListClient({ baseUrl: listUrl, timeoutMs: LIST_TIMEOUT_MS });
   const read = async (): Promise<void> => {
-    const result = await client.read();
+    const result = await client.fetchInstances();
     if (result.isErr()) {
       post({ to: 'platform', kind: 'list-failed', reason: result.error.message });
       return;
@@ -28,5 +36,5 @@
     const self = instances.find(({ id }) => id === instance)?.state ?? 'absent';
     post({ to: 'platform', kind: 'list-received', entries, self });
   };
-  return () => void read();
+  return { fetchList: () => void read(), close: client.close };
 };
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -62,16 +62,18 @@
 /**
  * Finds what the admission limit needs to know of a class.
  *
- * @param _states - states of the children
+ * @param states - states of the children
  * @param className - class of the request
  * @param importance - importance that the entry daemon sent
  * @returns the class's targets
  */
 export const getClassTargets = (
-  _states: EndpointStates,
+  states: EndpointStates,
   className: string,
   importance: string,
 ): ClassTargets => {
+  const published = states.heartbeats.view.classes.get(className);
+  if (published !== undefined) return published;
   const known: readonly Importance[] = ['critical', 'standard', 'background'];
   return {
     className,
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -12,6 +12,7 @@
 import type { EntryClient } from './heartbeats/entryClient.js';
 import { createHeartbeatsLogic } from './heartbeats/heartbeats.js';
 import { createListAdapter } from './platform/listAdapter.js';
+import type { ListAdapter } from './platform/listAdapter.js';
 import { createPlatformLogic } from './platform/platform.js';
 import { performEffect } from './perform.js';
 import { createGateLogic } from './rpc/gate.js';
@@ -54,7 +55,7 @@
   readonly engine: EngineClient;
   readonly rpc: RpcServer;
   readonly entries: EntryClient;
-  readonly fetchList: () => void;
+  readonly list: ListAdapter;
   readonly logics: EndpointLogics;
   readonly http: FastifyInstance;
   readonly daemon: Daemon<EndpointEvent>;
@@ -112,7 +113,7 @@
   });
 };
 
-const buildFetchList = (cradle: EndpointCradle): (() => void) =>
+const buildList = (cradle: EndpointCradle): ListAdapter =>
   createListAdapter(cradle.settings.platform.listUrl, cradle.settings.instance, (event) => {
     cradle.daemon.loop.post(event);
   });
@@ -138,7 +139,7 @@
       },
       survival: createSurvivalTable(),
       findTargets: (className, importance) => getClassTargets(states, className, importance),
-      findThresholds: () => undefined,
+      findThresholds: (className) => states.heartbeats.view.classes.get(className),
     }),
     streams: createStreamsLogic({
       now,
@@ -152,6 +153,7 @@
     heartbeats: createHeartbeatsLogic({
       now,
       endpoint: settings.endpoint,
+      dataCentre: settings.dataCentre,
       incarnation,
       startedAt: now(),
       intervalMs: settings.heartbeat.intervalMs,
@@ -159,7 +161,6 @@
       hash: hashText,
       getEntries: () => states.platform.entries,
       describeLoad: () => describeLoad(states, now()),
-      getConfigurationOffset: () => 0,
     }),
     rpc: createGateLogic({
       now,
@@ -191,7 +192,7 @@
     engine: cradle.engine,
     rpc: cradle.rpc,
     entries: cradle.entries,
-    fetchList: cradle.fetchList,
+    fetchList: cradle.list.fetchList,
     endProcess: (left: number) => {
       cradle.onEnd({ kind: 'drained', left });
     },
@@ -239,7 +240,7 @@
     engine: asFunction(buildEngine).singleton(),
     rpc: asFunction(buildRpc).singleton(),
     entries: asFunction(buildEntries).singleton(),
-    fetchList: asFunction(buildFetchList).singleton(),
+    list: asFunction(buildList).singleton(),
     logics: asFunction(buildLogics).singleton(),
     http: asFunction(buildHttp).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -35,6 +35,7 @@
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     daemon.stop();
     cradle.endpoints.close();
+    await cradle.platform.close();
     await callers.close();
     await heartbeats.close();
     return reason;
--- a/packages/entry/platform/constants.ts
+++ b/packages/entry/platform/constants.ts
@@ -38,3 +38,6 @@
 
 /** Age of the newest snapshot at which another is due, whatever the offsets. */
 export const SNAPSHOT_MAX_AGE_MS = 3_600_000;
+
+/** Time limit of one read of the instance list. */
+export const LIST_TIMEOUT_MS = 2_000;
--- a/packages/entry/platform/platformAdapter.ts
+++ b/packages/entry/platform/platformAdapter.ts
@@ -2,8 +2,7 @@
 import { PEER_TIMEOUT_MS, READ_LIMIT } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
-import type { ListClient } from '../../platform/listClient.js';
-import type { LogClient } from '../../platform/logClient.js';
+import type { ListClient, LogClient } from '../../platform/client/types.js';
 import type { EntryEvent, LogStream } from '../events.js';
 
 /** Adapter between the loop and the platform. */
@@ -12,6 +11,7 @@
   readonly readLog: (stream: LogStream, from: Offset, waitMs: Millis) => void;
   readonly appendLog: (stream: LogStream, batchId: number, records: readonly unknown[]) => void;
   readonly fetchPeerConfiguration: (url: string) => void;
+  readonly close: () => Promise<void>;
 }
 
 /**
@@ -28,7 +28,7 @@
   post: (event: EntryEvent) => void,
 ): PlatformAdapter => {
   const fetchList = async (): Promise<void> => {
-    const result = await list.read();
+    const result = await list.fetchInstances();
     post(
       result.isOk()
         ? { to: 'list', kind: 'list-received', instances: result.value }
@@ -37,11 +37,11 @@
   };
 
   const readLog = async (stream: LogStream, from: Offset, waitMs: Millis): Promise<void> => {
-    const result = await log.read(stream, from, READ_LIMIT, waitMs);
+    const result = await log.read(stream, { from, limit: READ_LIMIT, waitMs });
     post(
-      result.kind === 'read'
-        ? { to: stream, kind: 'read-ended', batch: result.batch }
-        : { to: stream, kind: 'read-failed', reason: result.message },
+      result.isOk()
+        ? { to: stream, kind: 'read-ended', batch: result.value }
+        : { to: stream, kind: 'read-failed', reason: result.error.message },
     );
   };
 
@@ -51,13 +51,7 @@
     records: readonly unknown[],
   ): Promise<void> => {
     const result = await log.append(stream, records);
-    post({
-      to: 'appends',
-      kind: 'append-ended',
-      batchId,
-      result:
-        result.kind === 'appended' ? { kind: 'appended', offset: result.firstOffset } : result,
-    });
+    post({ to: 'appends', kind: 'append-ended', batchId, result });
   };
 
   const fetchPeer = async (url: string): Promise<void> => {
@@ -79,5 +73,9 @@
     readLog: (stream, from, waitMs) => void readLog(stream, from, waitMs),
     appendLog: (stream, batchId, records) => void appendLog(stream, batchId, records),
     fetchPeerConfiguration: (url) => void fetchPeer(url),
+    close: async () => {
+      await list.close();
+      await log.close();
+    },
   };
 };
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -18,7 +18,7 @@
 import type { OperatorReplies } from './operator/operatorRoutes.js';
 import { performEffect } from './perform.js';
 import { createAppendsLogic } from './platform/appends/appends.js';
-import { LOG_TIMEOUT_MS } from './platform/constants.js';
+import { LIST_TIMEOUT_MS, LOG_TIMEOUT_MS } from './platform/constants.js';
 import { createControlLogic } from './platform/control/control.js';
 import { createIntentsLogic } from './platform/intents/intents.js';
 import { createListLogic } from './platform/list/list.js';
@@ -48,8 +48,8 @@
 import { findChain } from '../decisions/idempotency/table.js';
 import { createOwnTable } from '../decisions/placement/own.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
-import { createListClient } from '../platform/listClient.js';
-import { createLogClient } from '../platform/logClient.js';
+import { createListClient } from '../platform/client/listClient.js';
+import { createLogClient } from '../platform/client/logClient.js';
 import type { EntrySettings } from '../settings/types.js';
 
 /** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
@@ -102,7 +102,7 @@
   const { logUrl, listUrl } = cradle.settings.platform;
   return createPlatformAdapter(
     createLogClient({ baseUrl: logUrl, timeoutMs: LOG_TIMEOUT_MS }),
-    createListClient({ baseUrl: listUrl }),
+    createListClient({ baseUrl: listUrl, timeoutMs: LIST_TIMEOUT_MS }),
     (event) => {
       cradle.daemon.loop.post(event);
     },
