--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -68,9 +68,6 @@
   return createFailure('may-have-run', 'endpoint-failed', detail);
 };
 
-/** Priority numbers of the chat-completions interface: a lower number runs first. */
-const ENGINE_PRIORITIES = { critical: 0, standard: 10, background: 20 } as const;
-
 interface Gate {
   readonly opened: Promise<void>;
   readonly open: () => void;
@@ -94,7 +91,12 @@
   readonly fetchHealth: () => void;
   readonly fetchLoad: () => void;
   readonly fetchCacheEvents: (from: number) => void;
-  readonly startGeneration: (generationId: GenerationId, call: GenerateCall) => void;
+  /** Starts a generation; engines run a lower priority number first. */
+  readonly startGeneration: (
+    generationId: GenerationId,
+    call: GenerateCall,
+    priority: number,
+  ) => void;
   readonly cancelGeneration: (generationId: GenerationId) => void;
   readonly cancelAll: () => void;
   readonly setFlow: (generationId: GenerationId, flow: 'flowing' | 'paused') => void;
@@ -204,7 +206,11 @@
     post({ to: 'streams', kind: 'engine-finished', generationId, usage: progress.usage });
   };
 
-  const generate = async (generationId: GenerationId, call: GenerateCall): Promise<void> => {
+  const generate = async (
+    generationId: GenerationId,
+    call: GenerateCall,
+    priority: number,
+  ): Promise<void> => {
     const controller = new AbortController();
     const state: RunningGeneration = { controller, gate: null };
     running.set(generationId, state);
@@ -225,7 +231,7 @@
           ...body,
           stream: true,
           stream_options: { include_usage: true },
-          priority: ENGINE_PRIORITIES[call.importance],
+          priority,
         }),
       });
       if (answer.statusCode !== 200) {
@@ -280,7 +286,7 @@
     fetchHealth,
     fetchLoad,
     fetchCacheEvents,
-    startGeneration: (generationId, call) => void generate(generationId, call),
+    startGeneration: (generationId, call, priority) => void generate(generationId, call, priority),
     cancelGeneration,
     cancelAll: () => {
       for (const generationId of [...running.keys()]) cancelGeneration(generationId);
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -38,6 +38,7 @@
     ...identity,
     format: MESSAGE_FORMAT,
     sequence: content.sequence,
+    engineStart: content.engineStart,
     phase: content.phase,
     configurationOffset: content.configurationOffset,
     load: {
--- a/packages/endpoint/perform.ts
+++ b/packages/endpoint/perform.ts
@@ -48,7 +48,7 @@
       engine.fetchCacheEvents(effect.from);
       return;
     case 'start-generation':
-      engine.startGeneration(effect.generationId, effect.call);
+      engine.startGeneration(effect.generationId, effect.call, effect.priority);
       return;
     case 'cancel-generation':
       engine.cancelGeneration(effect.generationId);
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -27,6 +27,7 @@
 export interface StreamsInputs {
   readonly now: () => Millis;
   readonly limits: BufferLimits;
+  readonly choosePriority: (call: GenerateCall) => number;
 }
 
 type StreamsStep = Step<StreamsState, EndpointEffect>;
@@ -163,7 +164,12 @@
   state.generations.set(call.generationId, generation);
   state.running += 1;
   return [
-    { kind: 'start-generation', generationId: call.generationId, call },
+    {
+      kind: 'start-generation',
+      generationId: call.generationId,
+      call,
+      priority: inputs.choosePriority(call),
+    },
     {
       kind: 'log',
       name: 'generation-started',
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -277,6 +277,7 @@
 /** A heartbeat to one entry daemon. */
 export interface HeartbeatContent {
   readonly sequence: number;
+  readonly engineStart: string;
   readonly phase: string;
   readonly limit: number;
   readonly load: EngineLoad;
@@ -299,6 +300,8 @@
       readonly kind: 'start-generation';
       readonly generationId: GenerationId;
       readonly call: GenerateCall;
+      /** Number that tells the engine whose stalls cost least. */
+      readonly priority: number;
     }
   | { readonly kind: 'cancel-generation'; readonly generationId: GenerationId }
   /** Stops or continues reading from the engine's connection. */
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -49,6 +49,7 @@
   const load = engine.load ?? NO_LOAD;
   const running = engine.admission.running.size;
   return {
+    engineStart: engine.health?.startId ?? '',
     phase: describePhase(states),
     limit: getLimit(engine.admission),
     load: { ...load, running, waiting: 0, ageMs: 0 },
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -39,6 +39,7 @@
 import { DEFAULT_NONCE_SETTINGS } from '../decisions/idempotency/constants.js';
 import { createNonceTable } from '../decisions/idempotency/nonces.js';
 import { READER_WINDOW_CHUNKS } from '../decisions/streams/constants.js';
+import { computePriority } from '../decisions/preemption/preemption.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import type { EndpointSettings } from '../settings/types.js';
 
@@ -143,6 +144,8 @@
     }),
     streams: createStreamsLogic({
       now,
+      choosePriority: ({ className, importance }) =>
+        computePriority(getClassTargets(states, className, importance), 'lower-first'),
       limits: {
         maxChunks: settings.buffer.maxChunks,
         maxBytes: settings.buffer.maxTotalBytes,
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -147,6 +147,8 @@
       readonly kind: 'endpoint-lost';
       readonly endpoint: EndpointId;
       readonly incarnation: Incarnation;
+      /** Start identity of the engine or service that was lost with its daemon. */
+      readonly engineStart: string;
     }
   | { readonly to: 'requests'; readonly kind: 'tick' }
   | { readonly to: 'requests'; readonly kind: 'configuration-updated' }
--- a/packages/entry/membership/heartbeatServer.ts
+++ b/packages/entry/membership/heartbeatServer.ts
@@ -31,6 +31,7 @@
   instance: message.instance,
   dataCentre: message.dataCentre,
   incarnation: message.incarnation,
+  engineStart: message.engineStart,
   sequence: message.sequence,
   phase: message.phase,
   rpcUrl: message.rpcUrl,
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -67,10 +67,18 @@
   },
 });
 
-const buildLost = (endpoint: EndpointId, incarnation: string): EntryEffect => ({
-  kind: 'post',
-  event: { to: 'requests', kind: 'endpoint-lost', endpoint, incarnation },
-});
+const buildLost = (
+  state: MembershipState,
+  endpoint: EndpointId,
+  incarnation: string,
+): EntryEffect => {
+  const engineStart = state.starts.get(incarnation) ?? '';
+  state.starts.delete(incarnation);
+  return {
+    kind: 'post',
+    event: { to: 'requests', kind: 'endpoint-lost', endpoint, incarnation, engineStart },
+  };
+};
 
 const toEntryEffects = (
   state: MembershipState,
@@ -79,10 +87,10 @@
   switch (effect.kind) {
     case 'phase-changed':
       return effect.to === 'gone' && effect.incarnation !== null
-        ? [logPhase(effect), buildLost(effect.endpoint, effect.incarnation)]
+        ? [logPhase(effect), buildLost(state, effect.endpoint, effect.incarnation)]
         : [logPhase(effect)];
     case 'incarnation-replaced':
-      return [buildLost(effect.endpoint, effect.older)];
+      return [buildLost(state, effect.endpoint, effect.older)];
     case 'heartbeat-ignored':
       return [
         {
@@ -132,6 +140,7 @@
     });
   }
   state.views.set(endpoint, toView(heartbeat));
+  state.starts.set(incarnation, heartbeat.engineStart);
   const joined: readonly EntryEffect[] =
     known === incarnation
       ? []
@@ -154,6 +163,7 @@
         reportedAt: now - heartbeat.load.ageMs,
       },
     },
+    { kind: 'post', event: { to: 'moves', kind: 'evidence-received', heartbeat } },
   );
 };
 
@@ -257,6 +267,7 @@
       {
         table: initMembership<ReceivedHeartbeat>(),
         views: new Map(),
+        starts: new Map(),
         peers: [],
         lastTickAt: inputs.now(),
       },
--- a/packages/entry/membership/types.ts
+++ b/packages/entry/membership/types.ts
@@ -1,5 +1,5 @@
 import type { MembershipState as EndpointTable } from '../../decisions/membership/types.js';
-import type { EndpointId } from '../../core/ids.js';
+import type { EndpointId, Incarnation } from '../../core/ids.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointView } from '../../decisions/placement/types.js';
 import type { ListedInstance, ReceivedHeartbeat } from '../types.js';
@@ -12,6 +12,8 @@
    * endpoints a thousand heartbeats a second arrive.
    */
   readonly views: Map<EndpointId, EndpointView>;
+  /** Start identity of the engine behind each incarnation of an endpoint daemon. */
+  readonly starts: Map<Incarnation, string>;
   readonly peers: readonly ListedInstance[];
   readonly lastTickAt: Millis;
 }
--- /dev/null
+++ b/packages/entry/moves/moves.ts
@@ -0,0 +1,263 @@
+import { TICK_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { ModelName, RequestId, VersionName } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import type { MoveView } from '../../decisions/configuration/types.js';
+import { decideMove, getShare, initMove } from '../../decisions/moves/move.js';
+import { chooseVersion } from '../../decisions/moves/share.js';
+import type {
+  FaultFinding,
+  MoveEffect,
+  MoveEvent,
+  MoveState,
+} from '../../decisions/moves/types.js';
+import type { EntryEffect, MovesEvent } from '../events.js';
+import type { ReceivedHeartbeat } from '../types.js';
+
+/** One move with its place in the log. */
+export interface WatchedMove {
+  readonly view: MoveView;
+  readonly state: MoveState;
+  /** Why it was stopped or waits for an operator. */
+  readonly reason: string;
+}
+
+/** Version moves by name. */
+export interface MovesState {
+  readonly moves: ReadonlyMap<string, WatchedMove>;
+}
+
+export interface MovesInputs {
+  readonly now: () => Millis;
+  readonly createId: () => string;
+  readonly process: string;
+  readonly listMoves: () => readonly MoveView[];
+}
+
+type MovesStep = Step<MovesState, EntryEffect>;
+
+/** Route of all generations; a fault on one route of a service does not show in the others. */
+export const CHAT_ROUTE = 'chat';
+
+const describeFinding = (finding: FaultFinding): string => {
+  const place =
+    finding.cell === null
+      ? 'over all classes and routes'
+      : `class ${finding.cell.className}, data centre ${finding.cell.dataCentre}, route ${finding.cell.route}`;
+  return `${finding.metric} answers of the new version, ${place}`;
+};
+
+const notify = (
+  event: 'move-done' | 'move-taken-back' | 'move-needs-operator' | 'move-stopped-locally',
+  entity: string,
+  detail: string,
+  now: Millis,
+): readonly EntryEffect[] => [
+  { kind: 'log', name: event, details: { entity, data: { reason: detail } } },
+  { kind: 'notify-operators', notice: { event, entity, at: now, detail } },
+];
+
+const appendEnded = (
+  move: WatchedMove,
+  effect: Extract<MoveEffect, { readonly kind: 'append-ended' }>,
+  inputs: MovesInputs,
+): EntryEffect => ({
+  kind: 'post',
+  event: {
+    to: 'appends',
+    kind: 'append-requested',
+    stream: 'control',
+    record: {
+      kind: 'move-ended',
+      format: 1,
+      entity: effect.name,
+      basedOn: null,
+      body: { outcome: effect.outcome, reason: move.reason },
+      author: inputs.process,
+      nonce: inputs.createId(),
+    },
+    owner: { kind: 'own-record' },
+  },
+});
+
+const toEntryEffects = (
+  move: WatchedMove,
+  effect: MoveEffect,
+  inputs: MovesInputs,
+): readonly EntryEffect[] => {
+  const now = inputs.now();
+  const { name } = move.view;
+  switch (effect.kind) {
+    case 'shares-changed': {
+      const shares = [...effect.routes].map(([route, share]) => `${route}=${share.toString()}`);
+      const share = getShare(move.state, CHAT_ROUTE);
+      const details = { entity: name, data: { shares, share } };
+      return [{ kind: 'log', name: 'move-share-changed', details }];
+    }
+    case 'append-ended':
+      return [appendEnded(move, effect, inputs)];
+    case 'stopped':
+      return notify('move-stopped-locally', name, describeFinding(effect.finding), now);
+    case 'needs-operator':
+      return notify('move-needs-operator', name, effect.reason, now);
+    case 'ended': {
+      const event = effect.outcome === 'done' ? 'move-done' : 'move-taken-back';
+      return notify(event, name, move.view.ended?.reason ?? '', now);
+    }
+    default:
+      return assertNever(effect);
+  }
+};
+
+const updateReason = (reason: string, effects: readonly MoveEffect[]): string =>
+  effects.reduce((known, effect) => {
+    if (effect.kind === 'stopped') return describeFinding(effect.finding);
+    return effect.kind === 'needs-operator' ? effect.reason : known;
+  }, reason);
+
+const applyMove = (
+  state: MovesState,
+  move: WatchedMove,
+  event: MoveEvent,
+  inputs: MovesInputs,
+): MovesStep => {
+  const step = decideMove(move.state, event);
+  const reason = updateReason(move.reason, step.effects);
+  const next: WatchedMove = { ...move, state: step.state, reason };
+  const effects = step.effects.flatMap((effect) => toEntryEffects(next, effect, inputs));
+  return toStep({ moves: new Map(state.moves).set(move.view.name, next) }, ...effects);
+};
+
+const applyAll = (
+  state: MovesState,
+  select: (move: WatchedMove) => MoveEvent | null,
+  inputs: MovesInputs,
+): MovesStep => {
+  let step: MovesStep = toStep(state);
+  for (const move of state.moves.values()) {
+    const event = select(move);
+    if (event === null) continue;
+    const next = applyMove(step.state, move, event, inputs);
+    step = { state: next.state, effects: [...step.effects, ...next.effects] };
+  }
+  return step;
+};
+
+/** A move whose record changed its offset was started again under its name. */
+const registerMove = (state: MovesState, view: MoveView, inputs: MovesInputs): MovesStep => {
+  const known = state.moves.get(view.name);
+  const now = inputs.now();
+  if (known?.view.offset === view.offset) {
+    const moves = new Map(state.moves).set(view.name, { ...known, view });
+    return toStep({ moves });
+  }
+  const { name, model, from, to, startedAt, deadline } = view;
+  const move = { name, model, from, to, startedAt, deadline };
+  const details = { entity: name, data: { model, from, to, deadline } };
+  const started: EntryEffect = { kind: 'log', name: 'move-started', details };
+  const watched: WatchedMove = { view, state: initMove(), reason: '' };
+  const step = applyMove(state, watched, { kind: 'move-record', move, now }, inputs);
+  return toStep(step.state, started, ...step.effects);
+};
+
+const takeConfiguration = (state: MovesState, inputs: MovesInputs): MovesStep => {
+  let step: MovesStep = toStep(state);
+  for (const view of inputs.listMoves()) {
+    const next = registerMove(step.state, view, inputs);
+    step = { state: next.state, effects: [...step.effects, ...next.effects] };
+  }
+  const ended = applyAll(
+    step.state,
+    ({ view }) =>
+      view.ended === null
+        ? null
+        : {
+            kind: 'ended-record',
+            name: view.name,
+            outcome: view.ended.outcome,
+            offset: view.ended.offset,
+          },
+    inputs,
+  );
+  return { state: ended.state, effects: [...step.effects, ...ended.effects] };
+};
+
+const takeEvidence = (
+  state: MovesState,
+  heartbeat: ReceivedHeartbeat,
+  inputs: MovesInputs,
+): MovesStep => {
+  const { endpoint, incarnation, dataCentre, version, evidence } = heartbeat;
+  const report = { endpoint, incarnation, dataCentre, version, counts: evidence };
+  const now = inputs.now();
+  return applyAll(
+    state,
+    ({ view }) =>
+      view.ended === null && view.model === heartbeat.model
+        ? { kind: 'evidence', report, now }
+        : null,
+    inputs,
+  );
+};
+
+/**
+ * Chooses the version of a model for a request. The newest move of the model counts.
+ *
+ * @param state - moves
+ * @param model - model of the request
+ * @param requestId - request, whose hash decides within the share
+ * @param hash - hash of a text to an unsigned number of 32 bits
+ * @returns the version, or null when no move names the model
+ */
+export const chooseMoveVersion = (
+  state: MovesState,
+  model: ModelName,
+  requestId: RequestId,
+  hash: (text: string) => number,
+): VersionName | null => {
+  let newest: WatchedMove | undefined;
+  for (const move of state.moves.values()) {
+    if (move.view.model !== model) continue;
+    if (newest === undefined || move.view.offset > newest.view.offset) newest = move;
+  }
+  if (newest === undefined) return null;
+  const side = chooseVersion(getShare(newest.state, CHAT_ROUTE), hash(requestId));
+  return side === 'new' ? newest.view.to : newest.view.from;
+};
+
+/**
+ * Creates the decisions of the `moves` child. Its evidence comes from heartbeats, its records from
+ * the configuration.
+ *
+ * @param inputs - clock, identity and moves of the configuration
+ * @returns the child's logic
+ */
+export const createMovesLogic = (
+  inputs: MovesInputs,
+): ChildLogic<MovesState, MovesEvent, EntryEffect> => ({
+  init: () =>
+    toStep<MovesState, EntryEffect>(
+      { moves: new Map() },
+      { kind: 'post', event: { to: 'moves', kind: 'configuration-updated' } },
+      { kind: 'schedule', delayMs: TICK_MS, event: { to: 'moves', kind: 'tick' } },
+    ),
+  decide: (state, event) => {
+    switch (event.kind) {
+      case 'configuration-updated':
+        return takeConfiguration(state, inputs);
+      case 'evidence-received':
+        return takeEvidence(state, event.heartbeat, inputs);
+      case 'tick': {
+        const now = inputs.now();
+        const step = applyAll(state, () => ({ kind: 'tick', now }), inputs);
+        const again: EntryEffect = { kind: 'schedule', delayMs: TICK_MS, event };
+        return toStep(step.state, ...step.effects, again);
+      }
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/entry/operator/webhook.ts
@@ -0,0 +1,37 @@
+import { request } from 'undici';
+import { WEBHOOK_TIMEOUT_MS } from './constants.js';
+import type { OperatorNotice } from '../events.js';
+import type { EventLog } from '../../core/events/eventLog.js';
+
+/**
+ * Creates the adapter that tells operators what happened without their asking.
+ *
+ * @param url - address that takes notices as JSON, if any
+ * @param events - log of sent and failed notices
+ * @returns a function that sends one notice
+ */
+export const createNotifier = (
+  url: string | undefined,
+  events: EventLog,
+): ((notice: OperatorNotice) => void) => {
+  const send = async (address: string, notice: OperatorNotice): Promise<void> => {
+    const { entity } = notice;
+    try {
+      const answer = await request(address, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(notice),
+        signal: AbortSignal.timeout(WEBHOOK_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      if (answer.statusCode >= 300) throw new Error(`status ${answer.statusCode.toString()}`);
+      events.record('notification-sent', { entity, data: { event: notice.event } });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      events.record('notification-failed', { entity, data: { event: notice.event, reason } });
+    }
+  };
+  return (notice) => {
+    if (url !== undefined) void send(url, notice);
+  };
+};
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -1,9 +1,16 @@
 import type { EndpointCompletion } from './endpointClient.js';
 import type { RequestsInputs } from './inputs.js';
-import { failRequest, logAttemptEnd } from './outcomes.js';
+import {
+  failRequest,
+  holdRequest,
+  logAttemptEnd,
+  releaseAttempt,
+  reportCrash,
+  toAttemptOutcome,
+} from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import { selectPlace } from './placing.js';
-import { decideNextAttempt } from './retrying.js';
+import { addSuccess, decideNextAttempt } from './retrying.js';
 import type { CallState, ClassPolicy, KeyedState, Placed } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
@@ -38,7 +45,6 @@
   bounces: 0,
   place: null,
   waiting: 'no',
-  version: null,
   lastFailureText: '',
 });
 
@@ -104,13 +110,15 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<CallState, EntryEffect>({ ...state, waiting: 'in-queue' });
-    case 'refuse':
       return toStep<CallState, EntryEffect>({
         ...state,
         waiting: 'in-queue',
-        lastFailureText: result.failure.message,
+        lastFailureText: result.reason,
       });
+    case 'hold':
+      return holdRequest(state, inputs);
+    case 'fail':
+      return failRequest(state, result.failure, inputs);
     case 'placed': {
       const next: CallState = {
         ...state,
@@ -145,7 +153,8 @@
   const { requestId, receivedAt } = state.request;
   const now = inputs.now();
   const { className } = state.policy;
-  inputs.own.releasePlacement(requestId, now);
+  releaseAttempt(state, 'well', inputs);
+  addSuccess(state, inputs);
   return toStep<CallState | null, EntryEffect>(
     null,
     { kind: 'send-answer', requestId, answer },
@@ -181,7 +190,8 @@
     case 'call-answered':
       return sendAnswer(state, completion.answer, inputs);
     case 'call-failed': {
-      inputs.own.releasePlacement(state.request.requestId, inputs.now());
+      reportCrash(state, completion.failure, inputs);
+      releaseAttempt(state, toAttemptOutcome(completion.failure), inputs);
       const ended = logAttemptEnd(state, completion.failure);
       const next = decideNextAttempt(state, completion.failure, inputs);
       if (next.kind === 'give-up') return failRequest(state, next.failure, inputs, [ended]);
--- a/packages/entry/requests/constants.ts
+++ b/packages/entry/requests/constants.ts
@@ -16,5 +16,5 @@
 /** Pause before a request that was bounced by every endpoint is tried again. */
 export const BOUNCE_PAUSE_MS = 25;
 
-/** Retries of one request, besides what the retry budget allows. */
-export const MAX_ATTEMPTS = 4;
+/** Time to the deadline below which another attempt is not worth its cost. */
+export const MIN_ATTEMPT_MS = 20;
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -287,7 +287,8 @@
     const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
     return createFailure(
       'may-have-run',
-      isTimeout ? 'deadline-exceeded' : 'endpoint-lost',
+      // The code differs from a broken endpoint's, which would put what it ran under suspicion.
+      isTimeout ? 'deadline-exceeded' : 'endpoint-failed',
       `no answer from the endpoint daemon: ${reason}`,
     );
   };
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -1,8 +1,15 @@
-import { failRequest, logAttemptEnd } from './outcomes.js';
+import {
+  failRequest,
+  holdRequest,
+  logAttemptEnd,
+  releaseAttempt,
+  reportCrash,
+  toAttemptOutcome,
+} from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestsInputs } from './inputs.js';
 import { selectPlace } from './placing.js';
-import { decideNextAttempt } from './retrying.js';
+import { addSuccess, decideNextAttempt } from './retrying.js';
 import type { ClassPolicy, GenerationState, Placed } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { GenerationId } from '../../core/ids.js';
@@ -52,7 +59,6 @@
   bounces: 0,
   place: null,
   waiting: 'no',
-  version: null,
   lastFailureText: '',
   delivery: initDelivery(
     policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
@@ -102,14 +108,15 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<GenerationState, EntryEffect>({ ...state, waiting: 'in-queue' });
-    case 'refuse':
-      // Heartbeats may be late; the request waits for an endpoint until its deadline.
       return toStep<GenerationState, EntryEffect>({
         ...state,
         waiting: 'in-queue',
-        lastFailureText: result.failure.message,
+        lastFailureText: result.reason,
       });
+    case 'hold':
+      return holdRequest(state, inputs);
+    case 'fail':
+      return failRequest(state, result.failure, inputs);
     case 'placed': {
       const { place } = result;
       const generationId = inputs.createId();
@@ -162,7 +169,7 @@
 ): GenerationStep => {
   const { generationId, endpoint, incarnation, lastNumber } = request;
   const view = inputs.listEndpoints().find((candidate) => candidate.endpoint === endpoint);
-  const url = inputs.findUrl(endpoint);
+  const url = inputs.findReport(endpoint)?.rpcUrl;
   const source: GenerationSource = { generationId, endpoint, incarnation };
   const resumed = resumeDelivery(source, lastNumber + 1);
   const state: GenerationState = {
@@ -176,13 +183,13 @@
     place: {
       endpoint,
       incarnation,
+      engineStart: '',
       url: url ?? '',
       model: view?.model ?? '',
       version: view?.version ?? '',
       placedAt: inputs.now(),
     },
     waiting: 'no',
-    version: null,
     lastFailureText: '',
     delivery: resumed.state,
     firstChunkAt: null,
@@ -244,7 +251,8 @@
 ): GenerationStep => {
   const { request, policy, place } = state;
   const { requestId } = request;
-  inputs.own.releasePlacement(requestId, inputs.now());
+  releaseAttempt(state, 'well', inputs);
+  addSuccess(state, inputs);
   if (request.kind === 'generation' && place !== null) {
     const key = {
       className: policy.className,
@@ -284,7 +292,7 @@
   failure: Failure,
   inputs: RequestsInputs,
 ): GenerationStep => {
-  inputs.own.releasePlacement(state.request.requestId, inputs.now());
+  releaseAttempt(state, toAttemptOutcome(failure), inputs);
   const ended = logAttemptEnd(state, failure);
   const next = decideNextAttempt(state, failure, inputs);
   switch (next.kind) {
@@ -369,7 +377,7 @@
         nextNumber: effect.fromNumber,
       });
     case 'detach':
-      inputs.own.releasePlacement(requestId, inputs.now());
+      releaseAttempt(state, 'well', inputs);
       return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source));
     case 'cancel-generation':
       return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source), {
@@ -489,6 +497,9 @@
     completion.kind === 'chunks-received' && isCurrent
       ? measureChunks(state, completion.choices.length, inputs)
       : { state, effects: [] };
+  if (completion.kind === 'generation-failed' && isCurrent) {
+    reportCrash(state, completion.failure, inputs);
+  }
   const event = toDeliveryEvent(state, completion, inputs);
   const step = applyDelivery(measured.state, event, inputs);
   return { state: step.state, effects: [...measured.effects, ...step.effects] };
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -1,10 +1,13 @@
+import type { Suspicions } from './suspicions.js';
 import type { ClassPolicy } from './types.js';
+import type { ReceivedHeartbeat } from '../types.js';
 import type { Millis } from '../../core/clock.js';
-import type { ClassName, CustomerId, ModelName } from '../../core/ids.js';
+import type { ClassName, CustomerId, ModelName, RequestId, VersionName } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { ChainState, TableStanding } from '../../decisions/idempotency/types.js';
 import type { OwnTable } from '../../decisions/placement/own.js';
 import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
+import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
 import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
 
 /** What the `requests` child knows of the rest of the daemon. */
@@ -23,10 +26,18 @@
     readonly maxUntimedKeys: number;
   };
   readonly getCustomerDefault: (customer: CustomerId) => ClassName | undefined;
+  /** Quarantined fingerprints with their expiry. */
+  readonly getQuarantined: () => ReadonlyMap<string, Millis>;
   readonly getClasses: () => ReadonlyMap<ClassName, ClassPolicy>;
   /** Endpoints with their phase as it is now. */
   readonly listEndpoints: () => readonly EndpointView[];
-  readonly findUrl: (endpoint: string) => string | undefined;
+  /** Newest heartbeat of an endpoint. */
+  readonly findReport: (endpoint: string) => ReceivedHeartbeat | undefined;
+  readonly getCustomerWeight: (customer: CustomerId) => number;
+  /** Version that a move chooses for a request; null when any will do. */
+  readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionName | null;
+  readonly budgets: BudgetTable;
+  readonly suspicions: Suspicions;
   readonly findChain: (customer: CustomerId, key: string) => ChainState | undefined;
   readonly getIntentLog: () => {
     readonly log: 'up' | 'out';
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -3,7 +3,13 @@
 import type { CallCompletion } from './call.js';
 import type { FenceAnswer } from './endpointClient.js';
 import type { RequestsInputs } from './inputs.js';
-import { failRequest, logAttemptEnd } from './outcomes.js';
+import {
+  failRequest,
+  holdRequest,
+  logAttemptEnd,
+  releaseAttempt,
+  reportCrash,
+} from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import { selectPlace } from './placing.js';
 import type { ClassPolicy, KeyedState } from './types.js';
@@ -51,7 +57,6 @@
     bounces: 0,
     place: null,
     waiting: 'no',
-    version: null,
     lastFailureText: '',
     intent: createIntentState({
       requestId: request.requestId,
@@ -95,13 +100,15 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<KeyedState, EntryEffect>({ ...state, waiting: 'in-queue' });
-    case 'refuse':
       return toStep<KeyedState, EntryEffect>({
         ...state,
         waiting: 'in-queue',
-        lastFailureText: result.failure.message,
+        lastFailureText: result.reason,
       });
+    case 'hold':
+      return holdRequest(state, inputs);
+    case 'fail':
+      return applyIntent(state, { kind: 'endpoint-unavailable', failure: result.failure }, inputs);
     case 'placed': {
       const { endpoint, incarnation } = result.place;
       const placed: KeyedState = { ...state, place: result.place, waiting: 'no' };
@@ -123,7 +130,7 @@
   effect: Extract<IntentEffect, { readonly kind: 'dispatch' }>,
   inputs: RequestsInputs,
 ): RequestStep => {
-  const url = inputs.findUrl(effect.endpoint);
+  const url = inputs.findReport(effect.endpoint)?.rpcUrl;
   if (url === undefined || state.place === null) {
     const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
     const result = { kind: 'refused', failure } as const;
@@ -150,7 +157,7 @@
 ): RequestStep => {
   const { endpoint, incarnation, nonce } = effect;
   const { requestId } = state.request;
-  const url = inputs.findUrl(endpoint);
+  const url = inputs.findReport(endpoint)?.rpcUrl;
   if (url === undefined) {
     const result = { kind: 'unreachable' } as const;
     return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
@@ -202,7 +209,7 @@
   const { requestId } = state.request;
   switch (effect.kind) {
     case 'choose-endpoint': {
-      inputs.own.releasePlacement(requestId, inputs.now());
+      releaseAttempt(state, 'refused', inputs);
       const excluded = new Set([...state.excluded, ...effect.exclude]);
       return placeKeyed({ ...state, place: null, excluded }, inputs);
     }
@@ -293,6 +300,7 @@
   if (intent.kind !== 'dispatched' || completion.attempt !== state.attempts) return toStep(state);
   const { nonce } = intent.place;
   const result = toDispatchResult(completion);
+  if (completion.kind === 'call-failed') reportCrash(state, completion.failure, inputs);
   const ended = completion.kind === 'call-failed' ? [logAttemptEnd(state, completion.failure)] : [];
   const step = applyIntent(state, { kind: 'dispatch-ended', nonce, result }, inputs);
   return { state: step.state, effects: [...ended, ...step.effects] };
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -3,6 +3,7 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
+import type { AttemptOutcome } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
 /** Next state of one request; null when it is over. */
@@ -24,7 +25,8 @@
   effects: readonly EntryEffect[] = [],
 ): RequestStep => {
   const { requestId } = state.request;
-  inputs.own.releasePlacement(requestId, inputs.now());
+  releaseAttempt(state, toAttemptOutcome(failure), inputs);
+  inputs.suspicions.apply({ kind: 'abandoned', requestId });
   return toStep<RequestState | null, EntryEffect>(
     null,
     ...effects,
@@ -50,6 +52,70 @@
   );
 };
 
+/**
+ * Puts a suspected request aside until it may run alone.
+ *
+ * @param state - request without a place
+ * @param inputs - suspicions
+ * @returns the step of the request
+ */
+export const holdRequest = (state: RequestState, inputs: RequestsInputs): RequestStep => {
+  const { requestId, fingerprint } = state.request;
+  inputs.suspicions.apply({ kind: 'held', requestId, fingerprint });
+  return toStep<RequestState, EntryEffect>({ ...state, waiting: 'held' });
+};
+
+/**
+ * Ends the accounting of an attempt.
+ *
+ * @param state - request with the attempt's place
+ * @param outcome - how it ended
+ * @param inputs - own placements and suspicions
+ */
+export const releaseAttempt = (
+  state: RequestState,
+  outcome: AttemptOutcome,
+  inputs: RequestsInputs,
+): void => {
+  const { requestId } = state.request;
+  inputs.own.releasePlacement(requestId, inputs.now());
+  inputs.suspicions.apply({ kind: 'attempt-ended', requestId, outcome });
+};
+
+/**
+ * Reads from a failure how the attempt ended for the request itself.
+ *
+ * @param failure - how the attempt ended
+ * @returns `refused` when no endpoint worked on the request
+ */
+export const toAttemptOutcome = (failure: Failure): AttemptOutcome =>
+  failure.verdict === 'not-run' ? 'refused' : 'failed';
+
+/**
+ * Reports that the endpoint's engine or service broke off, which makes what it ran suspect. It must
+ * come before the end of the attempt.
+ *
+ * @param state - request that the endpoint ran
+ * @param failure - failure that its daemon reported
+ * @param inputs - suspicions
+ */
+export const reportCrash = (
+  state: RequestState,
+  failure: Failure,
+  inputs: RequestsInputs,
+): void => {
+  const { place } = state;
+  if (place === null || failure.code !== 'endpoint-lost' || failure.verdict === 'not-run') return;
+  inputs.suspicions.apply({
+    kind: 'endpoint-lost',
+    cause: 'crash',
+    endpoint: place.endpoint,
+    incarnation: place.engineStart,
+    reported: [],
+    now: inputs.now(),
+  });
+};
+
 /** Refusals that tell only of room or of a change that the next heartbeat will show. */
 const BOUNCE_CODES: ReadonlySet<FailureCode> = new Set([
   'overloaded',
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -6,27 +6,39 @@
 import type { Failure } from '../../core/verdict.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import type {
+  EndpointView,
   PlacementDecision,
   PlacementRequest,
   PlacementTarget,
 } from '../../decisions/placement/types.js';
+import type { PlacementRule } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
 /** Result of one try to place a request. */
 export type PlacingResult =
   | { readonly kind: 'placed'; readonly place: Placed; readonly effects: readonly EntryEffect[] }
   | { readonly kind: 'wait'; readonly reason: string }
-  | { readonly kind: 'refuse'; readonly failure: Failure };
+  /** The request is suspected of crashing endpoints and waits until it may run alone. */
+  | { readonly kind: 'hold' }
+  | { readonly kind: 'fail'; readonly failure: Failure };
 
-const toTarget = (state: RequestState): PlacementTarget => {
+/**
+ * Returns the prompt's size for memory and fairness.
+ *
+ * @param state - request
+ * @returns tokens; 0 for calls to plain services
+ */
+export const getPromptTokens = ({ request }: RequestState): number =>
+  request.kind === 'generation' ? request.promptTokens : 0;
+
+const toTarget = (state: RequestState, inputs: RequestsInputs): PlacementTarget => {
   const { request } = state;
   switch (request.kind) {
-    case 'generation':
-      return {
-        kind: 'model',
-        model: request.model,
-        ...(state.version === null ? {} : { version: state.version }),
-      };
+    case 'generation': {
+      const version = inputs.chooseVersion(request.model, request.requestId);
+      const target = { kind: 'model', model: request.model } as const;
+      return version === null ? target : { ...target, version };
+    }
     case 'service':
       return { kind: 'service', service: request.service };
     case 'resume':
@@ -40,14 +52,37 @@
 const listExcluded = (state: RequestState): ReadonlySet<EndpointId> =>
   state.bounces >= MAX_BOUNCES ? new Set() : state.excluded;
 
+const listAllowed = (
+  endpoints: readonly EndpointView[],
+  rule: PlacementRule,
+): readonly EndpointView[] => {
+  switch (rule.kind) {
+    case 'anywhere': {
+      const others = endpoints.filter(({ endpoint }) => endpoint !== rule.avoid);
+      return others.length > 0 ? others : endpoints;
+    }
+    case 'only':
+      return endpoints.filter(({ endpoint }) => rule.endpoints.includes(endpoint));
+    case 'alone': {
+      const preferred = endpoints.filter(({ endpoint }) => endpoint === rule.endpoint);
+      return preferred.length > 0 ? preferred : endpoints;
+    }
+    case 'hold':
+    case 'refuse':
+      return [];
+    default:
+      return assertNever(rule);
+  }
+};
+
 const toPlacementRequest = (state: RequestState, inputs: RequestsInputs): PlacementRequest => {
   const { request, policy } = state;
   return {
     requestId: request.requestId,
-    target: toTarget(state),
+    target: toTarget(state, inputs),
     customer: request.customer,
     targets: policy,
-    promptTokens: request.kind === 'generation' ? request.promptTokens : 0,
+    promptTokens: getPromptTokens(state),
     ...(request.kind === 'generation' ? { prefix: request.prefix } : {}),
     dataCentre: inputs.dataCentre,
     excluded: listExcluded(state),
@@ -74,15 +109,64 @@
   },
 });
 
+const trackPlace = (state: RequestState, place: Placed, inputs: RequestsInputs): void => {
+  const { request, policy } = state;
+  const { requestId, fingerprint } = request;
+  inputs.own.trackPlacement({
+    requestId,
+    endpoint: place.endpoint,
+    className: policy.className,
+    customer: request.customer,
+    version: place.version,
+    promptTokens: getPromptTokens(state),
+    generated: 0,
+    report: 'not-included',
+    placedAt: place.placedAt,
+  });
+  inputs.suspicions.apply({
+    kind: 'attempt-started',
+    requestId,
+    fingerprint,
+    endpoint: place.endpoint,
+    incarnation: place.engineStart,
+  });
+};
+
+const toPlace = (
+  state: RequestState,
+  decision: Extract<PlacementDecision, { readonly kind: 'place' }>,
+  view: EndpointView | undefined,
+  inputs: RequestsInputs,
+): PlacingResult => {
+  const report = inputs.findReport(decision.endpoint);
+  if (view === undefined || report === undefined) {
+    return { kind: 'wait', reason: 'the chosen endpoint has no address yet' };
+  }
+  const place: Placed = {
+    endpoint: decision.endpoint,
+    incarnation: decision.incarnation,
+    engineStart: report.engineStart,
+    url: report.rpcUrl,
+    model: view.model ?? '',
+    version: view.version ?? NO_VERSION,
+    placedAt: inputs.now(),
+  };
+  trackPlace(state, place, inputs);
+  return { kind: 'placed', place, effects: [logPlacement(state, decision)] };
+};
+
 /**
  * Tries to place a request and tracks the placement.
  *
  * @param state - request to place
- * @param inputs - endpoints, estimates and own placements
- * @returns the place, or that the request waits or is refused
+ * @param inputs - endpoints, estimates, suspicions and own placements
+ * @returns the place, or that the request waits, is held or fails
  */
 export const selectPlace = (state: RequestState, inputs: RequestsInputs): PlacingResult => {
-  const endpoints = inputs.listEndpoints();
+  const rule = inputs.suspicions.checkPlacement(state.request.fingerprint, inputs.now());
+  if (rule.kind === 'refuse') return { kind: 'fail', failure: rule.failure };
+  if (rule.kind === 'hold') return { kind: 'hold' };
+  const endpoints = listAllowed(inputs.listEndpoints(), rule);
   const decision = choosePlacement(
     inputs.policy,
     toPlacementRequest(state, inputs),
@@ -94,41 +178,14 @@
   switch (decision.kind) {
     case 'wait':
       return decision;
+    // Heartbeats may be late; the request waits for an endpoint until its deadline.
     case 'refuse':
-      return decision;
+      return { kind: 'wait', reason: decision.failure.message };
     case 'place': {
       const view = endpoints.find(({ endpoint }) => endpoint === decision.endpoint);
-      const url = inputs.findUrl(decision.endpoint);
-      if (view === undefined || url === undefined) {
-        return { kind: 'wait', reason: 'the chosen endpoint has no address yet' };
-      }
-      const place: Placed = {
-        endpoint: decision.endpoint,
-        incarnation: decision.incarnation,
-        url,
-        model: view.model ?? '',
-        version: view.version ?? NO_VERSION,
-        placedAt: inputs.now(),
-      };
-      trackPlace(state, place, inputs);
-      return { kind: 'placed', place, effects: [logPlacement(state, decision)] };
+      return toPlace(state, decision, view, inputs);
     }
     default:
       return assertNever(decision);
   }
 };
-
-const trackPlace = (state: RequestState, place: Placed, inputs: RequestsInputs): void => {
-  const { request, policy } = state;
-  inputs.own.trackPlacement({
-    requestId: request.requestId,
-    endpoint: place.endpoint,
-    className: policy.className,
-    customer: request.customer,
-    version: place.version,
-    promptTokens: request.kind === 'generation' ? request.promptTokens : 0,
-    generated: 0,
-    report: 'not-included',
-    placedAt: place.placedAt,
-  });
-};
--- /dev/null
+++ b/packages/entry/requests/requestTable.ts
@@ -0,0 +1,165 @@
+import { placeCall } from './call.js';
+import { placeGeneration } from './generation.js';
+import type { RequestsInputs } from './inputs.js';
+import { applyIntent, placeKeyed } from './keyed.js';
+import { failRequest } from './outcomes.js';
+import type { RequestStep } from './outcomes.js';
+import type { RequestState, RequestsState } from './types.js';
+import { toWaitingRequest } from './waitingQueue.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { RequestId } from '../../core/ids.js';
+import type { Failure } from '../../core/verdict.js';
+import type { QueueEffect } from '../../decisions/fairness/types.js';
+import type { EntryEffect } from '../events.js';
+
+/** State of the `requests` child with what it knows of the rest of the daemon. */
+export interface RequestsContext {
+  readonly state: RequestsState;
+  readonly inputs: RequestsInputs;
+}
+
+type Effects = readonly EntryEffect[];
+
+/**
+ * Tries to place a request that has no place.
+ *
+ * @param waiting - request
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const placeWaiting = (waiting: RequestState, inputs: RequestsInputs): RequestStep => {
+  switch (waiting.kind) {
+    case 'generation':
+      return placeGeneration(waiting, inputs);
+    case 'call':
+      return placeCall(waiting, inputs);
+    case 'keyed':
+      return placeKeyed(waiting, inputs);
+    default:
+      return assertNever(waiting);
+  }
+};
+
+const storeState = ({ state }: RequestsContext, requestId: RequestId, step: RequestStep): void => {
+  if (step.state === null) state.table.delete(requestId);
+  else state.table.set(requestId, step.state);
+};
+
+const enqueue = (context: RequestsContext, request: RequestState): Effects => {
+  const { requestId } = request.request;
+  const queued: EntryEffect = {
+    kind: 'log',
+    name: 'request-queued',
+    details: { requestId, data: { reason: request.lastFailureText } },
+  };
+  const waiting = toWaitingRequest(request, context.inputs);
+  const effects = context.state.queue.apply({ kind: 'enqueue', request: waiting });
+  return [queued, ...handleQueueEffects(context, effects)];
+};
+
+/**
+ * Puts the next state of a request into the table, and into the queue when it waits there.
+ *
+ * @param context - table and queue
+ * @param requestId - request
+ * @param step - its decision
+ * @returns effects of the step and of the queue
+ */
+export const storeStep = (
+  context: RequestsContext,
+  requestId: RequestId,
+  step: RequestStep,
+): Effects => {
+  const { state } = context;
+  const wasQueued = state.table.get(requestId)?.waiting === 'in-queue';
+  const isQueued = step.state?.waiting === 'in-queue';
+  storeState(context, requestId, step);
+  if (wasQueued && !isQueued) state.queue.apply({ kind: 'cancel', requestId });
+  if (step.state === null || wasQueued || !isQueued) return step.effects;
+  return [...step.effects, ...enqueue(context, step.state)];
+};
+
+/**
+ * Decides about a known request and stores the result; an unknown one is over.
+ *
+ * @param context - table and queue
+ * @param requestId - request
+ * @param decide - decision about it
+ * @returns the effects
+ */
+export const updateRequest = (
+  context: RequestsContext,
+  requestId: RequestId,
+  decide: (request: RequestState) => RequestStep,
+): Effects => {
+  const known = context.state.table.get(requestId);
+  return known === undefined ? [] : storeStep(context, requestId, decide(known));
+};
+
+/**
+ * Decides about every request.
+ *
+ * @param context - table and queue
+ * @param decide - decision about one request; null leaves it as it is
+ * @returns the effects
+ */
+export const updateAll = (
+  context: RequestsContext,
+  decide: (request: RequestState) => RequestStep | null,
+): Effects =>
+  [...context.state.table.values()].flatMap((known) => {
+    const step = decide(known);
+    return step === null ? [] : storeStep(context, known.request.requestId, step);
+  });
+
+const refuseWaiting = (
+  known: RequestState,
+  failure: Failure,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const text = `${failure.message}: ${known.lastFailureText}`;
+  const explained = known.lastFailureText === '' ? failure : { ...failure, message: text };
+  return known.kind === 'keyed'
+    ? applyIntent(known, { kind: 'endpoint-unavailable', failure: explained }, inputs)
+    : failRequest(known, explained, inputs);
+};
+
+/**
+ * Refuses requests that the bounded queue gave up: shed under overload, or past their deadline.
+ *
+ * @param context - table and queue
+ * @param effects - effects of the queue
+ * @returns effects for the callers
+ */
+export const handleQueueEffects = (
+  context: RequestsContext,
+  effects: readonly QueueEffect[],
+): Effects =>
+  effects.flatMap((effect) => {
+    if (effect.kind !== 'refuse') return [];
+    const { requestId, failure } = effect;
+    return updateRequest(context, requestId, (known) =>
+      refuseWaiting(known, failure, context.inputs),
+    );
+  });
+
+/**
+ * Offers room to waiting requests in fair order.
+ *
+ * @param context - table and queue
+ * @returns the effects
+ */
+export const drainQueue = (context: RequestsContext): Effects => {
+  const { state, inputs } = context;
+  const effects: EntryEffect[] = [];
+  state.queue.drain((requestId) => {
+    const waiting = state.table.get(requestId);
+    if (waiting?.waiting !== 'in-queue') return 'placed';
+    const step = placeWaiting({ ...waiting, waiting: 'no' }, inputs);
+    if (step.state?.waiting === 'in-queue') return 'waits';
+    storeState(context, requestId, step);
+    effects.push(...step.effects);
+    return 'placed';
+  });
+  return effects;
+};
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -1,6 +1,6 @@
 import { applyCallCompletion, createCall, placeCall } from './call.js';
 import { findClass } from './classes.js';
-import { TICK_MS, TRIES_PER_EVENT } from './constants.js';
+import { TICK_MS } from './constants.js';
 import type { EndpointCompletion } from './endpointClient.js';
 import {
   applyCompletion,
@@ -10,46 +10,33 @@
   startResume,
 } from './generation.js';
 import type { RequestsInputs } from './inputs.js';
-import {
-  applyIntent,
-  applyKeyedCompletion,
-  createKeyed,
-  placeKeyed,
-  toFenceResult,
-} from './keyed.js';
-import { failRequest } from './outcomes.js';
+import { applyIntent, applyKeyedCompletion, createKeyed, toFenceResult } from './keyed.js';
+import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
+import {
+  drainQueue,
+  handleQueueEffects,
+  placeWaiting,
+  storeStep,
+  updateAll,
+  updateRequest,
+} from './requestTable.js';
+import type { RequestsContext } from './requestTable.js';
+import { handleSuspicions } from './suspectEffects.js';
 import type { ClassPolicy, RequestState, RequestsState } from './types.js';
+import { createWaitingQueue } from './waitingQueue.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { RequestId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
+import { DEFAULT_QUEUE_SETTINGS } from '../../decisions/fairness/constants.js';
 import type { EntryEffect, RequestsEvent } from '../events.js';
 import type { CallerRequest } from '../types.js';
 
-/** Puts the next state of a request into the table. */
-const storeStep = (
-  state: RequestsState,
-  requestId: RequestId,
-  step: RequestStep,
-): readonly EntryEffect[] => {
-  const before = state.table.get(requestId);
-  if (step.state === null) state.table.delete(requestId);
-  else state.table.set(requestId, step.state);
-  const isQueued = step.state?.waiting === 'in-queue';
-  if (!isQueued || before?.waiting === 'in-queue') return step.effects;
-  state.queue.push(requestId);
-  const queued: EntryEffect = {
-    kind: 'log',
-    name: 'request-queued',
-    details: { requestId, data: { reason: step.state.lastFailureText, depth: state.queue.length } },
-  };
-  return [...step.effects, queued];
-};
+type Effects = readonly EntryEffect[];
 
-const refuseArrival = (request: CallerRequest, failure: Failure): readonly EntryEffect[] => {
+const refuseArrival = (request: CallerRequest, failure: Failure): Effects => {
   const { requestId } = request;
   return [
     { kind: 'fail-request', requestId, failure },
@@ -62,9 +49,8 @@
 };
 
 const checkArrival = (
-  state: RequestsState,
   request: CallerRequest,
-  inputs: RequestsInputs,
+  { state, inputs }: RequestsContext,
 ): Failure | null => {
   if (state.table.size >= inputs.limits.maxRequests) {
     return createFailure('not-run', 'shed', 'too many requests are in progress', 1_000);
@@ -94,18 +80,12 @@
   }
 };
 
-const receiveRequest = (
-  state: RequestsState,
-  request: CallerRequest,
-  inputs: RequestsInputs,
-): readonly EntryEffect[] => {
-  const refusal = checkArrival(state, request, inputs);
+const receiveRequest = (request: CallerRequest, context: RequestsContext): Effects => {
+  const { inputs } = context;
+  const refusal = checkArrival(request, context);
   if (refusal !== null) return refuseArrival(request, refusal);
-  const found = findClass(
-    request,
-    inputs.getCustomerDefault(request.customer),
-    inputs.getClasses(),
-  );
+  const customerDefault = inputs.getCustomerDefault(request.customer);
+  const found = findClass(request, customerDefault, inputs.getClasses());
   if (found.kind === 'unknown') {
     const text = `no class is called ${found.className}`;
     return refuseArrival(request, createFailure('not-run', 'unknown-class', text));
@@ -120,45 +100,7 @@
     },
   };
   const step = startRequest(request, found.policy, inputs);
-  return [received, ...storeStep(state, requestId, step)];
-};
-
-const placeWaiting = (waiting: RequestState, inputs: RequestsInputs): RequestStep => {
-  switch (waiting.kind) {
-    case 'generation':
-      return placeGeneration(waiting, inputs);
-    case 'call':
-      return placeCall(waiting, inputs);
-    case 'keyed':
-      return placeKeyed(waiting, inputs);
-    default:
-      return assertNever(waiting);
-  }
-};
-
-/** Tries waiting requests in order; those that still find no room stay where they are. */
-const drainQueue = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] => {
-  const effects: EntryEffect[] = [];
-  const tried = state.queue.splice(0, TRIES_PER_EVENT);
-  const left: RequestId[] = [];
-  for (const requestId of tried) {
-    const waiting = state.table.get(requestId);
-    if (waiting?.waiting !== 'in-queue') continue;
-    const step = placeWaiting(waiting, inputs);
-    effects.push(...storeStep(state, requestId, step));
-    if (step.state?.waiting === 'in-queue') left.push(requestId);
-  }
-  state.queue.unshift(...left);
-  return effects;
-};
-
-const updateRequest = (
-  state: RequestsState,
-  requestId: RequestId,
-  decide: (request: RequestState) => RequestStep,
-): readonly EntryEffect[] => {
-  const known = state.table.get(requestId);
-  return known === undefined ? [] : storeStep(state, requestId, decide(known));
+  return [received, ...storeStep(context, requestId, step)];
 };
 
 const applyEndpointCompletion = (
@@ -195,14 +137,15 @@
 const releaseCaller = (known: RequestState, inputs: RequestsInputs): RequestStep => {
   const { requestId } = known.request;
   const logged: EntryEffect = { kind: 'log', name: 'request-cancelled', details: { requestId } };
+  inputs.suspicions.apply({ kind: 'abandoned', requestId });
   switch (known.kind) {
     case 'generation': {
       const step = applyDelivery(known, { kind: 'caller-gone' }, inputs);
-      inputs.own.releasePlacement(requestId, inputs.now());
+      releaseAttempt(known, 'refused', inputs);
       return { state: null, effects: [logged, ...step.effects] };
     }
     case 'call':
-      inputs.own.releasePlacement(requestId, inputs.now());
+      releaseAttempt(known, 'refused', inputs);
       return { state: null, effects: [logged] };
     case 'keyed': {
       const step = applyIntent(known, { kind: 'caller-gone' }, inputs);
@@ -213,92 +156,78 @@
   }
 };
 
-/** Requests that wait for room give up at their deadline; running ones have their own timeouts. */
-const expireWaiting = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] => {
-  const now = inputs.now();
-  const expired = state.queue.filter((requestId) => {
-    const known = state.table.get(requestId);
-    return known !== undefined && known.deadlineAt <= now && known.waiting === 'in-queue';
-  });
-  return expired.flatMap((requestId) =>
-    updateRequest(state, requestId, (known) => expireRequest(known, inputs)),
-  );
-};
-
-const expireRequest = (known: RequestState, inputs: RequestsInputs): RequestStep => {
-  const text = `no endpoint had room before the deadline: ${known.lastFailureText}`;
-  const failure = createFailure('not-run', 'deadline-exceeded', text);
-  if (known.kind === 'keyed') {
-    return applyIntent(known, { kind: 'endpoint-unavailable', failure }, inputs);
-  }
-  return failRequest(known, failure, inputs);
-};
-
-const handleFolded = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] =>
-  [...state.table.values()].flatMap((known) =>
-    known.kind === 'keyed'
-      ? storeStep(state, known.request.requestId, applyIntent(known, { kind: 'folded' }, inputs))
-      : [],
-  );
-
 const handleEndpointLost = (
-  state: RequestsState,
   event: Extract<RequestsEvent, { readonly kind: 'endpoint-lost' }>,
-  inputs: RequestsInputs,
-): readonly EntryEffect[] => {
-  const { endpoint, incarnation } = event;
+  context: RequestsContext,
+): Effects => {
+  const { inputs } = context;
+  const { endpoint, incarnation, engineStart } = event;
   inputs.own.removeEndpoint(endpoint);
-  return [...state.table.values()].flatMap((known) =>
+  inputs.suspicions.apply({
+    kind: 'endpoint-lost',
+    cause: 'lost',
+    endpoint,
+    incarnation: engineStart,
+    reported: [],
+    now: inputs.now(),
+  });
+  return updateAll(context, (known) =>
     known.kind === 'generation' && known.place?.endpoint === endpoint
-      ? storeStep(
-          state,
-          known.request.requestId,
-          applyDelivery(known, { kind: 'endpoint-gone', endpoint, incarnation }, inputs),
-        )
-      : [],
+      ? applyDelivery(known, { kind: 'endpoint-gone', endpoint, incarnation }, inputs)
+      : null,
   );
 };
 
-const transferStreams = (state: RequestsState, inputs: RequestsInputs): readonly EntryEffect[] => {
-  state.phase = 'handing-over';
-  return [...state.table.values()].flatMap((known) =>
+/** Hands the running streams over to other entry daemons, through their callers. */
+const transferStreams = (context: RequestsContext): Effects => {
+  context.state.phase = 'handing-over';
+  return updateAll(context, (known) =>
     known.kind === 'generation'
-      ? storeStep(
-          state,
-          known.request.requestId,
-          applyDelivery(known, { kind: 'drain-ended' }, inputs),
-        )
-      : [],
+      ? applyDelivery(known, { kind: 'drain-ended' }, context.inputs)
+      : null,
   );
 };
 
 const retryRequest = (known: RequestState, inputs: RequestsInputs): RequestStep =>
   known.waiting === 'for-retry' ? placeWaiting({ ...known, waiting: 'no' }, inputs) : toStep(known);
 
-const decideRequests = (
-  state: RequestsState,
-  event: RequestsEvent,
-  inputs: RequestsInputs,
-): readonly EntryEffect[] => {
+const handleConfiguration = (context: RequestsContext): Effects => {
+  const { inputs } = context;
+  const now = inputs.now();
+  for (const [fingerprint, expiresAt] of inputs.getQuarantined()) {
+    inputs.suspicions.apply({ kind: 'quarantine-record', fingerprint, expiresAt, now });
+  }
+  return drainQueue(context);
+};
+
+const handleTick = (event: RequestsEvent, context: RequestsContext): Effects => {
+  const now = context.inputs.now();
+  context.inputs.suspicions.apply({ kind: 'tick', now });
+  const expired = handleQueueEffects(context, context.state.queue.apply({ kind: 'tick', now }));
+  return [...expired, ...drainQueue(context), { kind: 'schedule', delayMs: TICK_MS, event }];
+};
+
+const decideRequests = (event: RequestsEvent, context: RequestsContext): Effects => {
+  const { inputs } = context;
   switch (event.kind) {
     case 'request-received':
-      return receiveRequest(state, event.request, inputs);
+      return receiveRequest(event.request, context);
     case 'caller-gone':
-      return updateRequest(state, event.requestId, (known) => releaseCaller(known, inputs));
+      return updateRequest(context, event.requestId, (known) => releaseCaller(known, inputs));
     case 'endpoint-completed':
-      return updateRequest(state, event.completion.requestId, (known) =>
+      return updateRequest(context, event.completion.requestId, (known) =>
         applyEndpointCompletion(known, event.completion, inputs),
       );
     case 'resume-due': {
       const { requestId, generationId, link } = event;
       const due = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
-      return updateRequest(state, requestId, (known) =>
+      return updateRequest(context, requestId, (known) =>
         known.kind === 'generation' ? applyDelivery(known, due, inputs) : toStep(known),
       );
     }
     case 'intent-timer': {
       const { requestId, timer, round } = event;
-      return updateRequest(state, requestId, (known) =>
+      return updateRequest(context, requestId, (known) =>
         known.kind === 'keyed'
           ? applyIntent(known, { kind: 'timer', timer, round }, inputs)
           : toStep(known),
@@ -307,27 +236,27 @@
     case 'append-ended': {
       const { requestId, of, nonce } = event.owner;
       const ended = { kind: 'append-answered', of, nonce, result: event.result } as const;
-      return updateRequest(state, requestId, (known) =>
+      return updateRequest(context, requestId, (known) =>
         known.kind === 'keyed' ? applyIntent(known, ended, inputs) : toStep(known),
       );
     }
     case 'intents-folded':
-      return handleFolded(state, inputs);
+      return updateAll(context, (known) =>
+        known.kind === 'keyed' ? applyIntent(known, { kind: 'folded' }, inputs) : null,
+      );
     case 'retry-due':
-      return updateRequest(state, event.requestId, (known) => retryRequest(known, inputs));
+      return updateRequest(context, event.requestId, (known) => retryRequest(known, inputs));
     case 'configuration-updated':
-      return drainQueue(state, inputs);
+      return handleConfiguration(context);
     case 'capacity-changed':
       inputs.own.settleReport(event.endpoint, event.reportedAt);
-      return drainQueue(state, inputs);
+      return drainQueue(context);
     case 'endpoint-lost':
-      return handleEndpointLost(state, event, inputs);
-    case 'tick': {
-      const again: EntryEffect = { kind: 'schedule', delayMs: TICK_MS, event };
-      return [...expireWaiting(state, inputs), ...drainQueue(state, inputs), again];
-    }
+      return handleEndpointLost(event, context);
+    case 'tick':
+      return handleTick(event, context);
     case 'drain-ended':
-      return transferStreams(state, inputs);
+      return transferStreams(context);
     default:
       return assertNever(event);
   }
@@ -342,11 +271,20 @@
 export const createRequestsLogic = (
   inputs: RequestsInputs,
 ): ChildLogic<RequestsState, RequestsEvent, EntryEffect> => ({
-  init: () =>
-    toStep<RequestsState, EntryEffect>(
-      { table: new Map(), queue: [], phase: 'accepting' },
+  init: () => {
+    const queue = createWaitingQueue({
+      ...DEFAULT_QUEUE_SETTINGS,
+      maxWaitingPerClass: inputs.limits.queueCapacity,
+    });
+    return toStep<RequestsState, EntryEffect>(
+      { table: new Map(), queue, phase: 'accepting' },
       { kind: 'reset-requests' },
       { kind: 'schedule', delayMs: TICK_MS, event: { to: 'requests', kind: 'tick' } },
-    ),
-  decide: (state, event) => toStep(state, ...decideRequests(state, event, inputs)),
+    );
+  },
+  decide: (state, event) => {
+    const context = { state, inputs };
+    const effects = decideRequests(event, context);
+    return toStep(state, ...effects, ...handleSuspicions(context));
+  },
 });
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -1,8 +1,10 @@
-import { BOUNCE_PAUSE_MS, MAX_ATTEMPTS } from './constants.js';
+import { BOUNCE_PAUSE_MS, MIN_ATTEMPT_MS } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
 import { isBounce } from './outcomes.js';
 import type { RequestState } from './types.js';
+import type { Millis } from '../../core/clock.js';
 import type { Failure } from '../../core/verdict.js';
+import { decideRetry, recordSuccess } from '../../decisions/retries/retry.js';
 import type { EntryEffect } from '../events.js';
 
 /** Whether a request whose attempt failed is tried again. */
@@ -14,18 +16,11 @@
     }
   | { readonly kind: 'give-up'; readonly failure: Failure };
 
-const isRepeatable = (state: RequestState, failure: Failure): boolean =>
-  failure.verdict === 'not-run' || state.policy.repeat === 'allowed';
-
-/** Failures that another endpoint would only repeat. */
-const isFinal = (failure: Failure): boolean =>
-  failure.code === 'bad-request' || failure.code === 'too-large' || failure.code === 'cancelled';
-
 const buildAgain = (
   state: RequestState,
   failure: Failure,
   bounces: number,
-  delayMs: number,
+  delayMs: Millis,
 ): NextAttempt => {
   const { requestId } = state.request;
   const excluded =
@@ -38,7 +33,10 @@
       {
         kind: 'log',
         name: 'request-retried',
-        details: { requestId, data: { code: failure.code, verdict: failure.verdict } },
+        details: {
+          requestId,
+          data: { code: failure.code, verdict: failure.verdict, delayMs: Math.round(delayMs) },
+        },
       },
     ],
   };
@@ -49,7 +47,7 @@
  *
  * @param state - request
  * @param failure - how the attempt ended
- * @param inputs - clock
+ * @param inputs - clock and retry budgets
  * @returns another attempt, or the failure for the caller
  */
 export const decideNextAttempt = (
@@ -57,13 +55,42 @@
   failure: Failure,
   inputs: RequestsInputs,
 ): NextAttempt => {
-  if (isFinal(failure) || inputs.now() >= state.deadlineAt) return { kind: 'give-up', failure };
-  if (isBounce(failure)) {
+  const now = inputs.now();
+  if (isBounce(failure) && now < state.deadlineAt) {
     const bounces = state.bounces + 1;
     return buildAgain(state, failure, bounces, bounces > 1 ? BOUNCE_PAUSE_MS : 0);
   }
-  if (!isRepeatable(state, failure) || state.attempts >= MAX_ATTEMPTS) {
-    return { kind: 'give-up', failure };
-  }
-  return buildAgain(state, failure, state.bounces, 0);
+  const { customer } = state.request;
+  const { className, repeat } = state.policy;
+  const outcome = decideRetry(
+    inputs.budgets.get(customer, className, now),
+    {
+      attempts: state.attempts,
+      repeat: repeat === 'allowed' ? 'idempotent' : 'never',
+      shown: 'nothing',
+      deadline: state.deadlineAt,
+      minimumMs: MIN_ATTEMPT_MS,
+    },
+    failure,
+    now,
+    inputs.random,
+  );
+  inputs.budgets.update(customer, className, outcome.budget);
+  return outcome.decision.kind === 'retry'
+    ? buildAgain(state, failure, state.bounces, outcome.decision.delayMs)
+    : { kind: 'give-up', failure };
+};
+
+/**
+ * Adds a success to the retry budget of the request's customer and class.
+ *
+ * @param state - request that ended well
+ * @param inputs - clock and retry budgets
+ */
+export const addSuccess = (state: RequestState, inputs: RequestsInputs): void => {
+  const now = inputs.now();
+  const { customer } = state.request;
+  const { className } = state.policy;
+  const budget = inputs.budgets.get(customer, className, now);
+  inputs.budgets.update(customer, className, recordSuccess(budget, now));
 };
--- /dev/null
+++ b/packages/entry/requests/suspicions.ts
@@ -0,0 +1,46 @@
+import type { Millis } from '../../core/clock.js';
+import {
+  checkPlacement,
+  decideSuspicion,
+  initSuspicion,
+} from '../../decisions/quarantine/suspicion.js';
+import type {
+  PlacementRule,
+  SuspicionEffect,
+  SuspicionEvent,
+  SuspicionState,
+} from '../../decisions/quarantine/types.js';
+
+/**
+ * Holder of the suspicion state. Every attempt writes to it from deep inside the decisions about a
+ * request, so its effects are collected here and handled at the end of the event.
+ */
+export interface Suspicions {
+  readonly checkPlacement: (fingerprint: string, now: Millis) => PlacementRule;
+  readonly apply: (event: SuspicionEvent) => void;
+  /** Takes the effects since the last call. */
+  readonly takeEffects: () => readonly SuspicionEffect[];
+}
+
+/**
+ * Creates a holder without suspects.
+ *
+ * @returns the holder
+ */
+export const createSuspicions = (): Suspicions => {
+  let state: SuspicionState = initSuspicion();
+  let effects: SuspicionEffect[] = [];
+  return {
+    checkPlacement: (fingerprint, now) => checkPlacement(state, fingerprint, now),
+    apply: (event) => {
+      const step = decideSuspicion(state, event);
+      state = step.state;
+      effects.push(...step.effects);
+    },
+    takeEffects: () => {
+      const taken = effects;
+      effects = [];
+      return taken;
+    },
+  };
+};
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -10,6 +10,7 @@
 import type { PublishedClass } from '../../decisions/configuration/types.js';
 import type { IntentState } from '../../decisions/idempotency/types.js';
 import type { DeliveryState } from '../../decisions/streams/types.js';
+import type { WaitingQueue } from './waitingQueue.js';
 import type { GenerationRequest, ResumeRequest, ServiceRequest } from '../types.js';
 
 /** What operators published for a class, or the defaults. */
@@ -19,6 +20,8 @@
 export interface Placed {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
+  /** Start identity of the engine or service itself. */
+  readonly engineStart: string;
   readonly url: string;
   readonly model: ModelName;
   readonly version: VersionName;
@@ -35,9 +38,7 @@
   /** Refusals of endpoint daemons that had less room than their last report said. */
   readonly bounces: number;
   readonly place: Placed | null;
-  readonly waiting: 'in-queue' | 'for-retry' | 'no';
-  /** Version chosen by a move for this request; kept over its attempts. */
-  readonly version: VersionName | null;
+  readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
   /** Why the last attempt failed, for the caller when the deadline passes. */
   readonly lastFailureText: string;
 }
@@ -71,8 +72,7 @@
  */
 export interface RequestsState {
   readonly table: Map<RequestId, RequestState>;
-  /** Requests that wait for room, in order. */
-  readonly queue: RequestId[];
+  readonly queue: WaitingQueue;
   phase: 'accepting' | 'handing-over';
 }
 
--- /dev/null
+++ b/packages/entry/requests/waitingQueue.ts
@@ -0,0 +1,84 @@
+import { TRIES_PER_EVENT } from './constants.js';
+import type { RequestsInputs } from './inputs.js';
+import { getPromptTokens } from './placing.js';
+import type { RequestState } from './types.js';
+import type { RequestId } from '../../core/ids.js';
+import { createQueueState, decideQueue, listHeads } from '../../decisions/fairness/decideQueue.js';
+import type {
+  QueueEffect,
+  QueueEvent,
+  QueueSettings,
+  WaitingRequest,
+} from '../../decisions/fairness/types.js';
+import { NO_VERSION } from './constants.js';
+
+/** Requests that wait for an endpoint, in fair order. */
+export interface WaitingQueue {
+  readonly apply: (event: QueueEvent) => readonly QueueEffect[];
+  /**
+   * Offers the next request of each lane until none of them finds room.
+   *
+   * @param place - tries to place a request; tells whether it left the queue
+   */
+  readonly drain: (place: (requestId: RequestId) => 'placed' | 'waits') => void;
+}
+
+/**
+ * Creates an empty queue.
+ *
+ * @param settings - bounds
+ * @returns the queue
+ */
+export const createWaitingQueue = (settings: QueueSettings): WaitingQueue => {
+  let state = createQueueState(settings);
+
+  const apply = (event: QueueEvent): readonly QueueEffect[] => {
+    const step = decideQueue(state, event);
+    state = step.state;
+    return step.effects;
+  };
+
+  const drain: WaitingQueue['drain'] = (place) => {
+    const full = new Set<string>();
+    for (let tries = 0; tries < TRIES_PER_EVENT; tries += 1) {
+      const head = listHeads(state).find((request) => !full.has(toLane(request)));
+      if (head === undefined) return;
+      if (place(head.requestId) === 'placed') apply({ kind: 'take', requestId: head.requestId });
+      else full.add(toLane(head));
+    }
+  };
+
+  return { apply, drain };
+};
+
+const toLane = (request: WaitingRequest): string => `${request.className}\n${request.resource}`;
+
+const getResource = ({ request }: RequestState): string => {
+  if (request.kind === 'generation') return `model ${request.model}`;
+  return request.kind === 'service' ? `service ${request.service}` : 'resume';
+};
+
+/**
+ * Describes a request for the queue.
+ *
+ * @param state - request without a place
+ * @param inputs - length estimates and weights
+ * @returns the waiting request
+ */
+export const toWaitingRequest = (state: RequestState, inputs: RequestsInputs): WaitingRequest => {
+  const { request, policy } = state;
+  const { customer } = request;
+  const key = { className: policy.className, customer, version: NO_VERSION };
+  const output = request.kind === 'generation' ? inputs.survival.estimateRemaining(key, 0).mean : 1;
+  return {
+    requestId: request.requestId,
+    className: policy.className,
+    importance: policy.importance,
+    resource: getResource(state),
+    customer,
+    weight: inputs.getCustomerWeight(customer),
+    predictedTokens: getPromptTokens(state) + output,
+    enqueuedAt: inputs.now(),
+    latestStartAt: state.deadlineAt,
+  };
+};
--- a/packages/entry/supervisor.ts
+++ b/packages/entry/supervisor.ts
@@ -3,11 +3,13 @@
   EntryEvent,
   FrontendEvent,
   MembershipEvent,
+  MovesEvent,
   OperatorEvent,
   RequestsEvent,
 } from './events.js';
 import type { GateState } from './frontend/gate.js';
 import type { MembershipState } from './membership/types.js';
+import type { MovesState } from './moves/moves.js';
 import type { OperatorState } from './operator/operator.js';
 import { createPlatformSupervisor } from './platform/supervisor.js';
 import type { PlatformLogics, PlatformStates } from './platform/supervisor.js';
@@ -22,6 +24,7 @@
 export interface EntryStates extends PlatformStates {
   membership: MembershipState;
   requests: RequestsState;
+  moves: MovesState;
   operator: OperatorState;
   frontend: GateState;
 }
@@ -30,6 +33,7 @@
 export interface EntryLogics extends PlatformLogics {
   readonly membership: ChildLogic<MembershipState, MembershipEvent, EntryEffect>;
   readonly requests: ChildLogic<RequestsState, RequestsEvent, EntryEffect>;
+  readonly moves: ChildLogic<MovesState, MovesEvent, EntryEffect>;
   readonly operator: ChildLogic<OperatorState, OperatorEvent, EntryEffect>;
   readonly frontend: ChildLogic<GateState, FrontendEvent, EntryEffect>;
 }
@@ -89,6 +93,13 @@
         states.membership = state;
       },
     }),
+    buildRoutedChild<EntryEvent, 'moves', MovesState, EntryEffect>('moves', {
+      rebuildsFrom: 'heartbeats',
+      createLogic: () => logics.moves,
+      publish: (state) => {
+        states.moves = state;
+      },
+    }),
     buildRoutedChild<EntryEvent, 'requests', RequestsState, EntryEffect>('requests', {
       rebuildsFrom: 'nothing',
       createLogic: () => logics.requests,
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -80,6 +80,8 @@
   readonly instance: string;
   readonly dataCentre: DataCentreId;
   readonly incarnation: Incarnation;
+  /** Start identity of the engine or service itself. */
+  readonly engineStart: string;
   readonly sequence: number;
   readonly phase: string;
   readonly rpcUrl: string;
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { asFunction, asValue, createContainer } from 'awilix';
 import type { AwilixContainer } from 'awilix';
 import type { FastifyInstance } from 'fastify';
@@ -13,9 +14,11 @@
 import { createHeartbeatServer } from './membership/heartbeatServer.js';
 import type { HeartbeatServer } from './membership/heartbeatServer.js';
 import { createMembershipLogic, listViews } from './membership/membership.js';
+import { CHAT_ROUTE, chooseMoveVersion, createMovesLogic } from './moves/moves.js';
 import { createOperatorLogic } from './operator/operator.js';
 import { registerOperatorRoutes } from './operator/operatorRoutes.js';
-import type { OperatorReplies } from './operator/operatorRoutes.js';
+import { createNotifier } from './operator/webhook.js';
+import type { MoveRow, OperatorReplies } from './operator/operatorRoutes.js';
 import { performEffect } from './perform.js';
 import { createAppendsLogic } from './platform/appends/appends.js';
 import { LIST_TIMEOUT_MS, LOG_TIMEOUT_MS } from './platform/constants.js';
@@ -27,6 +30,7 @@
 import { createEndpointClient } from './requests/endpointClient.js';
 import type { EndpointClient } from './requests/endpointClient.js';
 import type { RequestsInputs } from './requests/inputs.js';
+import { createSuspicions } from './requests/suspicions.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createEntrySupervisor } from './supervisor.js';
 import type { EntryLogics, EntryStates } from './supervisor.js';
@@ -46,7 +50,9 @@
 import type { ChildFailure } from '../core/supervision/types.js';
 import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { findChain } from '../decisions/idempotency/table.js';
+import { getShare } from '../decisions/moves/move.js';
 import { createOwnTable } from '../decisions/placement/own.js';
+import { createBudgetTable } from '../decisions/retries/budgetTable.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import { createListClient } from '../platform/client/listClient.js';
 import { createLogClient } from '../platform/client/logClient.js';
@@ -130,7 +136,13 @@
     getCustomerDefault: (customer) => customers.get(customer)?.defaultClass,
     getClasses: () => states.control.view.classes,
     listEndpoints: () => listViews(states.membership, clock.now()),
-    findUrl: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report.rpcUrl,
+    findReport: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report,
+    getCustomerWeight: (customer) => customers.get(customer)?.weight ?? 1,
+    chooseVersion: (model, requestId) =>
+      chooseMoveVersion(states.moves, model, requestId, hashText),
+    getQuarantined: () => states.control.view.quarantined,
+    budgets: createBudgetTable(),
+    suspicions: createSuspicions(),
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
     getIntentLog: () => {
       const { table, log } = states.intents;
@@ -156,6 +168,12 @@
       listPeers: () => listPeerUrls(states, settings.instance),
       choosePeer: (peers) => peers[Math.floor(requestsInputs.random.next() * peers.length)],
     }),
+    moves: createMovesLogic({
+      now,
+      createId,
+      process: settings.process,
+      listMoves: () => states.control.view.moves,
+    }),
     operator: createOperatorLogic({ getConfiguration: () => states.control.configuration }),
     membership: createMembershipLogic({
       now,
@@ -176,6 +194,23 @@
     .filter(({ id, role, state }) => role === 'entry' && id !== instance && state === 'live')
     .map(({ httpUrl }) => httpUrl);
 
+const listMoveRows = (states: EntryStates): readonly MoveRow[] =>
+  [...states.moves.moves.values()].map(({ view, state, reason }) => ({
+    name: view.name,
+    model: view.model,
+    from: view.from,
+    to: view.to,
+    deadline: view.deadline,
+    share: getShare(state, CHAT_ROUTE),
+    state: view.ended?.outcome ?? state.phase,
+    reason: view.ended?.reason ?? reason,
+  }));
+
+const HASH_ALGORITHM = 'sha256';
+
+const hashText = (text: string): number =>
+  createHash(HASH_ALGORITHM).update(text).digest().readUInt32BE(0);
+
 const getUnreadyReason = (states: EntryStates): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
   if (states.control.source === 'none') return 'the configuration was not read yet';
@@ -199,7 +234,7 @@
   cradle.operatorReplies.current = registerOperatorRoutes(server, {
     operators: settings.operators,
     getConfiguration: () => states.control.configuration,
-    listMoves: () => [],
+    listMoves: () => listMoveRows(states),
     post: (event) => cradle.daemon.loop.post(event),
   });
   registerInspectionPages(server, {
@@ -227,7 +262,7 @@
     replyOperator: (operationId: string, outcome: OperatorOutcome) => {
       cradle.operatorReplies.current?.send(operationId, outcome);
     },
-    notifyOperators: () => undefined,
+    notifyOperators: createNotifier(cradle.settings.webhookUrl, events),
     endProcess: (left: number) => {
       cradle.onEnd({ kind: 'drained', left });
     },
