--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -19,8 +19,8 @@
   acceptedGapMs: 0,
   settleMs: 1_000,
   memoryBound: 'predicted',
-  horizonMs: 30_000,
-  overflowProbability: 0.02,
+  horizonMs: 60_000,
+  overflowProbability: 0.005,
 };
 
 /** Weight of one report in the mean of recent token gaps. */
--- a/packages/decisions/admission/decideAdmit.ts
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -10,7 +10,11 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
-import { computeClassLimit, computeClassMemory } from '../placement/eligible.js';
+import {
+  computeAcceptedOverflow,
+  computeClassLimit,
+  computeClassMemory,
+} from '../placement/classBounds.js';
 import {
   applyNewSequence,
   applySequence,
@@ -27,13 +31,19 @@
 
 const getSize = (sequence: RunningSequence): number => sequence.promptTokens + sequence.generated;
 
-/** Memory that the load page does not count yet: prompts of sequences since it was read. */
-const countNewTokens = (state: AdmissionState): number => {
-  let tokens = 0;
+/**
+ * Counts the memory that the admitted sequences need. The load page counts neither prompts that
+ * arrived since nor sequences that the engine preempted, which must get their memory back before
+ * new work.
+ */
+const countNeededTokens = (state: AdmissionState): number => {
+  let admitted = 0;
+  let unreported = 0;
   for (const sequence of state.running.values()) {
-    if (sequence.engine === 'unconfirmed') tokens += getSize(sequence);
+    admitted += getSize(sequence);
+    if (sequence.engine === 'unconfirmed') unreported += getSize(sequence);
   }
-  return tokens;
+  return Math.max(admitted, state.memory.usedTokens + unreported);
 };
 
 /**
@@ -49,7 +59,7 @@
   request: AdmissionRequest,
   context: AdmissionContext,
 ): number => {
-  const { totalTokens, usedTokens, tokensPerSecond } = state.memory;
+  const { totalTokens, tokensPerSecond } = state.memory;
   if (totalTokens === 0) return 0;
   const change = createMemoryChange();
   for (const sequence of state.running.values()) {
@@ -62,7 +72,7 @@
       ? tokensPerSecond / state.running.size
       : 1_000 / DEFAULT_GAP_MS;
   const budget = {
-    used: usedTokens + countNewTokens(state),
+    used: countNeededTokens(state),
     total: computeClassMemory(totalTokens, request.targets),
     horizonTokens: (perSequence * context.settings.horizonMs) / 1_000,
   };
@@ -81,7 +91,7 @@
     case 'none':
       return true;
     case 'predicted': {
-      const accepted = request.targets.overflowProbability ?? settings.overflowProbability;
+      const accepted = computeAcceptedOverflow(request.targets, settings.overflowProbability);
       return estimateOverflow(state, request, context) <= accepted;
     }
     default:
--- a/packages/decisions/placement/constants.ts
+++ b/packages/decisions/placement/constants.ts
@@ -4,8 +4,8 @@
 export const DEFAULT_PLACEMENT_POLICY: PlacementPolicy = {
   kind: 'predicted-headroom',
   choices: 4,
-  horizonMs: 30_000,
-  overflowProbability: 0.02,
+  horizonMs: 60_000,
+  overflowProbability: 0.005,
   prefixWeight: 0.1,
 };
 
@@ -38,3 +38,7 @@
 
 /** Tokens of progress below which a placement's forecast is not updated. */
 export const FORECAST_REFRESH_TOKENS = 16;
+
+/** Factor on the accepted overflow probability for critical classes, and its upper bound. */
+export const CRITICAL_OVERFLOW_FACTOR = 20;
+export const MAX_ACCEPTED_OVERFLOW = 0.2;
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -1,4 +1,4 @@
-import { computeClassMemory } from './eligible.js';
+import { computeAcceptedOverflow, computeClassMemory } from './classBounds.js';
 import {
   DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
   MAX_EXTRAPOLATION_MS,
@@ -110,8 +110,10 @@
     const tokens = Math.max(0, kept - (load?.includedTokens ?? 0));
     applyUnknownSequences(scratch, survival, unknown, tokens / unknown);
   }
+  // Preempted sequences hold no memory, but get it back before new work starts.
+  const preempted = (endpoint.waiting * kept) / Math.max(1, endpoint.running);
   const budget: MemoryBudget = {
-    used: kept + growth + (load?.newTokens ?? 0),
+    used: kept + growth + preempted + (load?.newTokens ?? 0),
     total: computeClassMemory(endpoint.memoryTotalTokens, request.targets),
     horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
   };
@@ -161,7 +163,10 @@
     endpoint.memoryTotalTokens > 0
       ? estimateEndpointMemory(inputs, endpoint)
       : { overflowProbability: 0, headroom: 1 - (requests + 1) / endpoint.limit };
-  const accepted = inputs.request.targets.overflowProbability ?? inputs.policy.overflowProbability;
+  const accepted = computeAcceptedOverflow(
+    inputs.request.targets,
+    inputs.policy.overflowProbability,
+  );
   const prefixWorth = computePrefixWorth(inputs, endpoint);
   return {
     view: endpoint,
