--- /dev/null
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -0,0 +1,368 @@
+import { applySnapshot, decideDelta, planSnapshot, toSnapshot } from './exchange.js';
+import { createConfiguration, foldControlRecord, openGap } from './fold.js';
+import { parseControlRecord } from './records.js';
+import { describeEntities, foldReference } from './referenceFold.fixture.js';
+import type { ReferenceRow } from './referenceFold.fixture.js';
+import type {
+  ConfigurationDelta,
+  ConfigurationSnapshot,
+  ConfigurationState,
+  EntityKind,
+  RawRecord,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+
+/** Decisions under test; variants leave out one mechanism. */
+export interface Mechanisms {
+  readonly fold: typeof foldControlRecord;
+  readonly take: typeof applySnapshot;
+}
+
+export const ALL_MECHANISMS: Mechanisms = { fold: foldControlRecord, take: applySnapshot };
+
+export type ActionKind =
+  | 'propose'
+  | 'quarantine'
+  | 'end-move'
+  | 'later-format'
+  | 'plan-snapshot'
+  | 'append'
+  | 'read'
+  | 'outage'
+  | 'retain'
+  | 'restart'
+  | 'heartbeat'
+  | 'ask-peer'
+  | 'deliver';
+
+export interface SimulationAction {
+  readonly kind: ActionKind;
+  readonly pick: number;
+}
+
+interface Daemon {
+  readonly role: 'entry' | 'endpoint';
+  state: ConfigurationState;
+}
+
+type Message =
+  | { readonly kind: 'page'; readonly firstOffset: number; readonly records: readonly RawRecord[] }
+  | { readonly kind: 'delta'; readonly delta: ConfigurationDelta }
+  | { readonly kind: 'snapshot'; readonly snapshot: ConfigurationSnapshot };
+
+interface World {
+  readonly mechanisms: Mechanisms;
+  readonly daemons: readonly Daemon[];
+  /** Every record ever appended, also those that the log has dropped. */
+  readonly history: RawRecord[];
+  /** Appends that have not reached the log. */
+  readonly pending: object[];
+  readonly messages: { readonly to: Daemon; readonly message: Message }[];
+  /** What folding each offset did, as the first exact daemon saw it. */
+  readonly results: Map<number, string>;
+  firstOffset: number;
+  log: 'up' | 'out';
+  now: number;
+}
+
+const ENTRY_COUNT = 3;
+const ENDPOINT_COUNT = 3;
+const FAR_FUTURE = 1e9;
+
+const pickOf = <Item>(items: readonly Item[], pick: number): Item | undefined =>
+  items[pick % Math.max(1, items.length)];
+
+const listRole = (world: World, role: Daemon['role']): readonly Daemon[] =>
+  world.daemons.filter((daemon) => daemon.role === role);
+
+const TARGET_CLASS = {
+  className: 'memo',
+  importance: 'standard',
+  firstTokenMs: 700,
+  tokenGapMs: 50,
+  stallMs: 500,
+  deadlineMs: 60_000,
+};
+
+const buildBody = (kind: EntityKind, entity: string, pick: number, now: number): object => {
+  switch (kind) {
+    case 'targets':
+      return { classes: [{ ...TARGET_CLASS, firstTokenMs: 1 + pick }] };
+    case 'data-centre':
+      return { state: pick % 2 === 0 ? 'in' : 'out' };
+    case 'move':
+      return {
+        name: entity,
+        model: 'draft',
+        from: 'v1',
+        to: 'v2',
+        startedAt: 0,
+        deadline: 1 + pick,
+      };
+    case 'move-ended':
+      return { outcome: pick % 2 === 0 ? 'done' : 'taken-back', reason: 'test' };
+    case 'quarantine':
+      return { expiresAt: pick % 2 === 0 ? now + 10 + (pick % 20) : FAR_FUTURE + pick };
+    default:
+      return assertNever(kind);
+  }
+};
+
+/** An author builds on what one entry daemon shows, however old. */
+const addProposal = (world: World, kind: EntityKind, entity: string, pick: number): void => {
+  const seen = pickOf(listRole(world, 'entry'), pick)?.state;
+  if (seen === undefined || seen.standing !== 'exact') return;
+  const known = seen.entities.get(`${kind}\u0000${entity}`);
+  world.pending.push({
+    kind,
+    format: 1,
+    author: `author-${(pick % 5).toString()}`,
+    nonce: `nonce-${world.now.toString()}`,
+    entity,
+    basedOn: known?.offset ?? null,
+    body: buildBody(kind, entity, pick, world.now),
+  });
+};
+
+const checkDaemon = (world: World, daemon: Daemon, before: ConfigurationState): void => {
+  const { state } = daemon;
+  if (state.nextOffset < before.nextOffset) throw new Error('the offset went back');
+  if (state.standing !== 'exact') return;
+  const expected = foldReference(world.history.slice(0, state.nextOffset)).entities;
+  const wanted = describeEntities(expected, world.now);
+  if (describeEntities(state.entities, world.now) !== wanted) {
+    throw new Error(`the entities at offset ${state.nextOffset.toString()} differ`);
+  }
+};
+
+const describeRow = (row: ReferenceRow): string =>
+  row.kind === 'void' ? `void ${JSON.stringify(row.winner)}` : row.kind;
+
+const foldOne = (world: World, daemon: Daemon, raw: RawRecord): void => {
+  const parsed = parseControlRecord(raw.body).unwrapOr(null);
+  const before = daemon.state;
+  const { state, result } = world.mechanisms.fold(before, raw, parsed);
+  daemon.state = state;
+  checkDaemon(world, daemon, before);
+  if (before.standing !== 'exact' || state === before) return;
+  if (result.kind !== 'in-force' && result.kind !== 'void') return;
+  const seen = describeRow(
+    result.kind === 'void' ? { kind: 'void', winner: result.winner } : { kind: 'in-force' },
+  );
+  const earlier = world.results.get(raw.offset) ?? seen;
+  // A snapshot leaves out quarantines that have expired, and only those may be judged differently.
+  if (earlier !== seen && parsed?.kind !== 'quarantine')
+    throw new Error('two daemons judge a record differently');
+  world.results.set(raw.offset, seen);
+};
+
+const takeSnapshot = (world: World, daemon: Daemon, snapshot: ConfigurationSnapshot): void => {
+  const before = daemon.state;
+  daemon.state = world.mechanisms.take(before, snapshot);
+  checkDaemon(world, daemon, before);
+};
+
+const receive = (world: World, daemon: Daemon, message: Message): void => {
+  switch (message.kind) {
+    case 'page':
+      daemon.state = openGap(daemon.state, message.firstOffset);
+      for (const raw of message.records) foldOne(world, daemon, raw);
+      return;
+    case 'delta':
+      if (message.delta.snapshot !== null) takeSnapshot(world, daemon, message.delta.snapshot);
+      for (const raw of message.delta.records) foldOne(world, daemon, raw);
+      return;
+    case 'snapshot':
+      takeSnapshot(world, daemon, message.snapshot);
+      return;
+    default:
+      assertNever(message);
+  }
+};
+
+const readLog = (world: World, daemon: Daemon, limit: number): Message => {
+  const from = Math.max(daemon.state.nextOffset, world.firstOffset);
+  const records = world.history.slice(from, from + limit);
+  return { kind: 'page', firstOffset: world.firstOffset, records };
+};
+
+const appendRecord = (world: World, body: object): void => {
+  world.history.push({ offset: world.history.length, at: world.now, body });
+};
+
+/** Retention drops only what a snapshot in the log covers; another test shows that one is there. */
+const expireRecords = (world: World, pick: number): void => {
+  const kept = world.history.slice(world.firstOffset).map(({ body }) => body as { asOf?: number });
+  const covered = Math.max(world.firstOffset, ...kept.map(({ asOf }) => asOf ?? 0));
+  world.firstOffset += pick % (covered - world.firstOffset + 1);
+};
+
+const planAt = (world: World, daemon: Daemon): void => {
+  const { firstOffset, now } = world;
+  const info = { firstOffset, snapshotAt: null, snapshotAgeMs: 1, maxAgeMs: 0, now };
+  const record = planSnapshot(daemon.state, info, 'entry', `nonce-${now.toString()}`);
+  if (record !== null) world.pending.push(record);
+};
+
+const PROPOSED = [
+  ['targets', 'all'],
+  ['data-centre', 'east'],
+  ['move', 'to-v2'],
+] as const;
+
+const receiveOne = (world: World, pick: number): void => {
+  const index = pick % Math.max(1, world.messages.length);
+  const sent = world.messages[index];
+  if (sent === undefined) return;
+  // Every third message comes again later.
+  if (pick % 3 !== 0) world.messages.splice(index, 1);
+  receive(world, sent.to, sent.message);
+};
+
+const performAction = (world: World, { kind, pick }: SimulationAction): void => {
+  const entry = pickOf(listRole(world, 'entry'), pick) as Daemon;
+  const other = pickOf(world.daemons, Math.floor(pick / 7)) as Daemon;
+  switch (kind) {
+    case 'propose': {
+      const [proposed, entity] = pickOf(PROPOSED, Math.floor(pick / 5)) ?? PROPOSED[0];
+      return addProposal(world, proposed, entity, pick);
+    }
+    case 'quarantine':
+      return addProposal(world, 'quarantine', 'fingerprint', pick);
+    case 'end-move':
+      return addProposal(world, 'move-ended', 'to-v2', pick);
+    case 'later-format':
+      world.pending.push({ kind: 'targets', format: 2, shape: 'unknown' });
+      return;
+    case 'plan-snapshot':
+      return planAt(world, entry);
+    case 'append': {
+      const [body] =
+        world.log === 'up' ? world.pending.splice(pick % Math.max(1, world.pending.length), 1) : [];
+      if (body !== undefined) appendRecord(world, body);
+      return;
+    }
+    case 'read':
+      if (world.log === 'up') {
+        world.messages.push({ to: entry, message: readLog(world, entry, 1 + (pick % 9)) });
+      }
+      return;
+    case 'outage':
+      world.log = world.log === 'up' ? 'out' : 'up';
+      return;
+    case 'retain':
+      return expireRecords(world, pick);
+    case 'restart':
+      other.state = createConfiguration();
+      return;
+    case 'heartbeat': {
+      const to = pickOf(listRole(world, 'endpoint'), Math.floor(pick / 7)) as Daemon;
+      const delta = decideDelta(entry.state, to.state.nextOffset);
+      world.messages.push({ to, message: { kind: 'delta', delta } });
+      return;
+    }
+    case 'ask-peer':
+      if (entry.state.standing === 'exact' && other.role === 'entry') {
+        const message = { kind: 'snapshot', snapshot: toSnapshot(entry.state) } as const;
+        world.messages.push({ to: other, message });
+      }
+      return;
+    case 'deliver':
+      return receiveOne(world, pick);
+    default:
+      assertNever(kind);
+  }
+};
+
+const settleAll = (world: World): void => {
+  for (const entry of listRole(world, 'entry')) {
+    receive(world, entry, readLog(world, entry, Infinity));
+  }
+  const entry = pickOf(listRole(world, 'entry'), world.now) as Daemon;
+  for (const endpoint of listRole(world, 'endpoint')) {
+    // A delta is bounded in bytes, so several answers may be needed.
+    for (let round = 0; round < world.history.length + 1; round += 1) {
+      receive(world, endpoint, {
+        kind: 'delta',
+        delta: decideDelta(entry.state, endpoint.state.nextOffset),
+      });
+    }
+  }
+};
+
+/** Compares what the daemons saw with the plain fold of the whole history. */
+const checkResults = (world: World): void => {
+  const { rows } = foldReference(world.history);
+  for (const [offset, seen] of world.results) {
+    const row = rows[offset] as ReferenceRow;
+    const { kind } = world.history[offset]?.body as { readonly kind?: string };
+    if (kind !== 'quarantine' && seen !== describeRow(row)) {
+      throw new Error(`the loser or winner at offset ${offset.toString()} was told something else`);
+    }
+  }
+};
+
+/** Of the records of one entity that build on the same offset, one is in force. */
+const checkRaces = (world: World): void => {
+  const { rows } = foldReference(world.history);
+  const races = new Map<string, number>();
+  for (const { offset, body } of world.history) {
+    const { kind, entity, basedOn } = body as Record<string, unknown>;
+    if (kind !== 'targets' && kind !== 'data-centre') continue;
+    if (entity === undefined) continue;
+    const race = JSON.stringify([kind, entity, basedOn]);
+    const seen = world.results.get(offset) ?? describeRow(rows[offset] as ReferenceRow);
+    races.set(race, (races.get(race) ?? 0) + (seen === 'in-force' ? 1 : 0));
+  }
+  for (const [race, winners] of races) {
+    if (winners !== 1)
+      throw new Error(`${winners.toString()} records in force in the race ${race}`);
+  }
+};
+
+const checkEnd = (world: World): void => {
+  for (const daemon of world.daemons) {
+    if (daemon.state.standing !== 'exact' || daemon.state.nextOffset !== world.history.length) {
+      throw new Error(`an ${daemon.role} daemon did not reach the end of the log`);
+    }
+  }
+  checkRaces(world);
+  checkResults(world);
+};
+
+/**
+ * Runs entry and endpoint daemons against a log with outages and retention; pages, deltas and
+ * peers' snapshots arrive late, repeated and in any order, also after a restart of their reader.
+ *
+ * @param actions - what happens, in order
+ * @param mechanisms - decisions under test
+ * @returns number of records in the log, to show that the run was not empty
+ * @throws an error at the first violated property
+ */
+export const runConfiguration = (
+  actions: readonly SimulationAction[],
+  mechanisms: Mechanisms,
+): number => {
+  const roles = [
+    ...Array.from({ length: ENTRY_COUNT }, () => 'entry' as const),
+    ...Array.from({ length: ENDPOINT_COUNT }, () => 'endpoint' as const),
+  ];
+  const world: World = {
+    mechanisms,
+    daemons: roles.map((role) => ({ role, state: createConfiguration() })),
+    history: [],
+    pending: [],
+    messages: [],
+    results: new Map(),
+    firstOffset: 0,
+    log: 'up',
+    now: 0,
+  };
+  for (const action of actions) {
+    world.now += 1;
+    performAction(world, action);
+  }
+  settleAll(world);
+  checkEnd(world);
+  return world.history.length;
+};
--- a/packages/decisions/configuration/constants.ts
+++ b/packages/decisions/configuration/constants.ts
@@ -9,3 +9,9 @@
 
 /** Share of the kept log behind which an entity's record makes a snapshot due. */
 export const SNAPSHOT_DUE_SHARE = 0.5;
+
+/**
+ * Records since the newest snapshot that make the next one due. A log that drops by count shows its
+ * bound only after it has dropped the first record, so the first snapshot cannot wait for that.
+ */
+export const SNAPSHOT_DUE_RECORDS = 1_000;
--- a/packages/decisions/configuration/exchange.ts
+++ b/packages/decisions/configuration/exchange.ts
@@ -1,4 +1,9 @@
-import { CONTROL_FORMAT, DELTA_MAX_BYTES, SNAPSHOT_DUE_SHARE } from './constants.js';
+import {
+  CONTROL_FORMAT,
+  DELTA_MAX_BYTES,
+  SNAPSHOT_DUE_RECORDS,
+  SNAPSHOT_DUE_SHARE,
+} from './constants.js';
 import { formatEntityKey } from './fold.js';
 import type {
   ConfigurationDelta,
@@ -17,7 +22,7 @@
 /**
  * Describes the configuration for another process.
  *
- * @param state - configuration
+ * @param state - configuration whose standing is `exact`
  * @returns the snapshot
  */
 export const toSnapshot = (state: ConfigurationState): ConfigurationSnapshot => ({
@@ -48,6 +53,7 @@
     recent: [],
     standing: 'exact',
     unbased: [],
+    unbasedFrom: 0,
   };
 };
 
@@ -85,9 +91,9 @@
 /** Bounds of what the log still holds. */
 export interface RetentionInfo {
   readonly firstOffset: Offset;
-  /** Offset of the newest snapshot in the log, or null. */
+  /** `asOf` of the newest snapshot in the log, or null. */
   readonly snapshotAt: Offset | null;
-  /** Age of the newest snapshot, or of this process's first read when there is none. */
+  /** Age of the newest snapshot, or of the oldest record of the log when there is none. */
   readonly snapshotAgeMs: Millis;
   /** Age at which a snapshot is due whatever the offsets; well below the log's retention time. */
   readonly maxAgeMs: Millis;
@@ -114,7 +120,8 @@
   const middle = info.firstOffset + (state.nextOffset - info.firstOffset) * SNAPSHOT_DUE_SHARE;
   const isCovered = info.snapshotAt !== null && info.snapshotAt >= middle;
   const isOffsetDue = info.firstOffset > 0 && !isCovered;
-  if (!isOffsetDue && info.snapshotAgeMs < info.maxAgeMs) return null;
+  const isCountDue = state.nextOffset - (info.snapshotAt ?? 0) >= SNAPSHOT_DUE_RECORDS;
+  if (!isOffsetDue && !isCountDue && info.snapshotAgeMs < info.maxAgeMs) return null;
   return {
     kind: 'snapshot',
     format: CONTROL_FORMAT,
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -33,6 +33,7 @@
   recent: [],
   standing: 'exact',
   unbased: [],
+  unbasedFrom: 0,
 });
 
 /**
@@ -67,9 +68,21 @@
   const move = entities.get(formatEntityKey('move', record.entity));
   if (move === undefined) return 'no-move';
   const ended = entities.get(formatEntityKey('move-ended', record.entity));
-  return ended !== undefined && ended.offset > move.offset ? toWinner(ended) : null;
+  if (ended !== undefined && ended.offset > move.offset) return toWinner(ended);
+  // A late end of an earlier move must not end the one that was started again under its name.
+  const isOfThisMove = record.basedOn === move.offset || record.basedOn === (ended?.offset ?? null);
+  return isOfThisMove ? null : toWinner(move);
 };
 
+/** An end of quarantine only moves on; the clocks of the daemons that append one differ. */
+const checkQuarantine = (
+  known: EntityEntry | undefined,
+  record: EntityRecord & { readonly kind: 'quarantine' },
+): Winner | null =>
+  known?.kind === 'quarantine' && known.body.expiresAt >= record.body.expiresAt
+    ? toWinner(known)
+    : null;
+
 const checkBase = (entities: Entities, record: EntityRecord): 'matches' | 'differs' => {
   const known = entities.get(formatEntityKey(record.kind, record.entity));
   return (known?.offset ?? null) === record.basedOn ? 'matches' : 'differs';
@@ -100,8 +113,10 @@
       return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
     }
     // Every daemon that sees the second crash appends one; a later expiry prolongs the first.
-    case 'quarantine':
-      return { kind: 'effective' };
+    case 'quarantine': {
+      const longer = checkQuarantine(known, record);
+      return longer === null ? { kind: 'effective' } : { kind: 'void', winner: longer };
+    }
     default:
       return assertNever(record);
   }
@@ -130,6 +145,8 @@
   record: SnapshotRecord,
 ): ConfigurationState => {
   if (state.standing === 'exact') return state;
+  // A snapshot that was appended late misses the records between its offset and the gap's end.
+  if (record.asOf < state.unbasedFrom) return state;
   const newer = state.unbased.filter(({ offset }) => offset >= record.asOf);
   const entities = newer.reduce<Entities>(
     (base, { offset, record: unbased }) => applyRecord(base, unbased, offset).entities,
@@ -140,7 +157,8 @@
 
 const applyControl = (state: ConfigurationState, record: ControlRecord, offset: Offset): Fold => {
   if (record.kind === 'snapshot') {
-    return { state: applySnapshotRecord(state, record), result: { kind: 'snapshot' } };
+    const result = { kind: 'snapshot', asOf: record.asOf } as const;
+    return { state: applySnapshotRecord(state, record), result };
   }
   if (state.standing === 'needs-snapshot') {
     const unbased = [...state.unbased, { offset, record }];
@@ -151,7 +169,8 @@
 };
 
 /**
- * Folds one record in log order. An offset that was folded before changes nothing.
+ * Folds one record in log order. An offset that was folded before changes nothing, and neither does
+ * one behind records that were not read: the reader of the log opens the gap first.
  *
  * @param state - configuration
  * @param raw - record as it was read
@@ -163,7 +182,7 @@
   raw: RawRecord,
   record: ControlRecord | null,
 ): Fold => {
-  if (raw.offset < state.nextOffset) return { state, result: { kind: 'known' } };
+  if (raw.offset !== state.nextOffset) return { state, result: { kind: 'known' } };
   const seen = {
     ...state,
     nextOffset: raw.offset + 1,
@@ -189,6 +208,7 @@
         recent: [],
         standing: 'needs-snapshot',
         unbased: [],
+        unbasedFrom: firstOffset,
       };
 
 /**
--- /dev/null
+++ b/packages/decisions/configuration/referenceFold.fixture.ts
@@ -0,0 +1,97 @@
+import type { EntityEntry, RawRecord, Winner } from './types.js';
+
+/** What one record does, by the plain fold. */
+export type ReferenceRow =
+  | { readonly kind: 'in-force' }
+  | { readonly kind: 'void'; readonly winner: Winner | null }
+  | { readonly kind: 'other' };
+
+interface ReferenceEntry {
+  readonly kind: string;
+  readonly entity: string;
+  readonly offset: number;
+  readonly author: string;
+  readonly body: { readonly expiresAt?: number };
+}
+
+interface PlainRecord {
+  readonly kind: string;
+  readonly format: number;
+  readonly entity: string;
+  readonly author: string;
+  readonly basedOn: number | null;
+  readonly body: { readonly expiresAt?: number };
+}
+
+type Table = Map<string, ReferenceEntry>;
+
+const checkPlain = (table: Table, record: PlainRecord): Winner | 'unknown' | null => {
+  const own = table.get(`${record.kind} ${record.entity}`);
+  const move = table.get(`move ${record.entity}`);
+  const ended = table.get(`move-ended ${record.entity}`);
+  const isEnded = (ended?.offset ?? -1) > (move?.offset ?? -1);
+  if (record.kind === 'quarantine') {
+    const isShorter = (own?.body.expiresAt ?? -1) >= (record.body.expiresAt ?? 0);
+    return isShorter ? (own ?? null) : null;
+  }
+  if (record.kind === 'move-ended') {
+    if (move === undefined) return 'unknown';
+    if (isEnded) return ended ?? null;
+    return record.basedOn === (ended?.offset ?? null) ? null : move;
+  }
+  if (record.kind === 'move' && own !== undefined && !isEnded) return own;
+  if (record.basedOn === (own?.offset ?? null)) return null;
+  return own ?? 'unknown';
+};
+
+/**
+ * Folds a whole history in the plainest way, from offset 0 and without snapshots.
+ *
+ * @param history - every record ever appended
+ * @returns the entities in force and what each record did
+ */
+export const foldReference = (
+  history: readonly RawRecord[],
+): { readonly entities: Table; readonly rows: readonly ReferenceRow[] } => {
+  const entities: Table = new Map();
+  const rows = history.map(({ offset, body }): ReferenceRow => {
+    const record = body as PlainRecord;
+    if (record.format !== 1 || record.kind === 'snapshot') return { kind: 'other' };
+    const winner = checkPlain(entities, record);
+    if (winner === 'unknown') return { kind: 'void', winner: null };
+    if (winner !== null) {
+      return { kind: 'void', winner: { offset: winner.offset, author: winner.author } };
+    }
+    const { kind, entity, author } = record;
+    entities.set(`${kind} ${entity}`, { kind, entity, offset, author, body: record.body });
+    return { kind: 'in-force' };
+  });
+  return { entities, rows };
+};
+
+/** Fields that a daemon fills in by their defaults are left out. */
+const describeEntry = (entry: ReferenceEntry | EntityEntry): string => {
+  const { kind, entity, offset, author } = entry;
+  return JSON.stringify([kind, entity, offset, author]);
+};
+
+const isExpired = ({ body }: ReferenceEntry | EntityEntry, now: number): boolean =>
+  'expiresAt' in body && (body.expiresAt ?? 0) <= now;
+
+/**
+ * Describes entities for a comparison; an offset names its record and so its content. Quarantines
+ * that have expired are left out, as snapshots leave them out.
+ *
+ * @param entities - entities by key
+ * @param now - current instant
+ * @returns text that is equal for equal entities
+ */
+export const describeEntities = (
+  entities: ReadonlyMap<string, ReferenceEntry | EntityEntry>,
+  now: number,
+): string =>
+  [...entities.values()]
+    .filter((entry) => !isExpired(entry, now))
+    .map(describeEntry)
+    .sort()
+    .join('\n');
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -90,8 +90,8 @@
 export type FoldResult =
   | { readonly kind: 'in-force'; readonly entry: EntityEntry }
   | { readonly kind: 'void'; readonly record: EntityRecord; readonly winner: Winner | null }
-  | { readonly kind: 'snapshot' }
-  /** The offset was folded before. */
+  | { readonly kind: 'snapshot'; readonly asOf: Offset }
+  /** The record is of a later format, or its offset is not the next one. */
   | { readonly kind: 'known' };
 
 /** A record as it was read, for peers that are behind. */
@@ -112,6 +112,8 @@
   readonly standing: 'exact' | 'needs-snapshot';
   /** Records read since the gap, until a snapshot gives them their base. */
   readonly unbased: readonly { readonly offset: Offset; readonly record: EntityRecord }[];
+  /** First offset read after the gap; only a snapshot that reaches it closes the gap. */
+  readonly unbasedFrom: Offset;
 }
 
 /** State that one process hands to another. */
