--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -18,8 +18,9 @@
   coldFactor: 6,
   acceptedGapMs: 0,
   settleMs: 1_000,
-  horizonMs: 30_000,
-  overflowProbability: 0.02,
+  memoryBound: 'predicted',
+  horizonMs: 60_000,
+  overflowProbability: 0.005,
 };
 
 /** Weight of one report in the mean of recent token gaps. */
--- a/packages/decisions/idempotency/records.ts
+++ b/packages/decisions/idempotency/records.ts
@@ -55,9 +55,10 @@
   z.object({
     kind: z.literal('carry-forward'),
     ...ofKey,
-    fingerprint: text,
+    fingerprint: nullableText,
     asOf: z.number().int().nonnegative(),
-    link,
+    link: link.nullable(),
+    abandonedEarly: z.array(text),
   }),
 ]);
 
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -48,10 +48,11 @@
 /** State of a chain as of an offset, appended before retention drops the records behind it. */
 export interface CarryForwardRecord extends RecordOfKey {
   readonly kind: 'carry-forward';
-  readonly fingerprint: string;
+  readonly fingerprint: string | null;
   /** The state contains every record below this offset. */
   readonly asOf: Offset;
-  readonly link: ChainLink;
+  readonly link: ChainLink | null;
+  readonly abandonedEarly: readonly Nonce[];
 }
 
 export type IntentStreamRecord =
--- a/packages/entry/supervisor.ts
+++ b/packages/entry/supervisor.ts
@@ -3,10 +3,14 @@
   EntryEvent,
   FrontendEvent,
   MembershipEvent,
+  MovesEvent,
+  OperatorEvent,
   RequestsEvent,
 } from './events.js';
 import type { GateState } from './frontend/gate.js';
 import type { MembershipState } from './membership/types.js';
+import type { MovesState } from './moves/moves.js';
+import type { OperatorState } from './operator/operator.js';
 import { createPlatformSupervisor } from './platform/supervisor.js';
 import type { PlatformLogics, PlatformStates } from './platform/supervisor.js';
 import type { RequestsState } from './requests/types.js';
@@ -20,6 +24,8 @@
 export interface EntryStates extends PlatformStates {
   membership: MembershipState;
   requests: RequestsState;
+  moves: MovesState;
+  operator: OperatorState;
   frontend: GateState;
 }
 
@@ -27,10 +33,12 @@
 export interface EntryLogics extends PlatformLogics {
   readonly membership: ChildLogic<MembershipState, MembershipEvent, EntryEffect>;
   readonly requests: ChildLogic<RequestsState, RequestsEvent, EntryEffect>;
+  readonly moves: ChildLogic<MovesState, MovesEvent, EntryEffect>;
+  readonly operator: ChildLogic<OperatorState, OperatorEvent, EntryEffect>;
   readonly frontend: ChildLogic<GateState, FrontendEvent, EntryEffect>;
 }
 
-type RootChild = 'platform' | 'membership' | 'requests' | 'operator' | 'frontend';
+type RootChild = 'platform' | 'membership' | 'requests' | 'moves' | 'operator' | 'frontend';
 
 const routeEvent = (event: EntryEvent): RootChild => {
   switch (event.to) {
@@ -42,6 +50,7 @@
     case 'membership':
     case 'requests':
     case 'operator':
+    case 'moves':
     case 'frontend':
       return event.to;
     default:
@@ -84,6 +93,13 @@
         states.membership = state;
       },
     }),
+    buildRoutedChild<EntryEvent, 'moves', MovesState, EntryEffect>('moves', {
+      rebuildsFrom: 'heartbeats',
+      createLogic: () => logics.moves,
+      publish: (state) => {
+        states.moves = state;
+      },
+    }),
     buildRoutedChild<EntryEvent, 'requests', RequestsState, EntryEffect>('requests', {
       rebuildsFrom: 'nothing',
       createLogic: () => logics.requests,
@@ -91,6 +107,13 @@
         states.requests = state;
       },
     }),
+    buildRoutedChild<EntryEvent, 'operator', OperatorState, EntryEffect>('operator', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.operator,
+      publish: (state) => {
+        states.operator = state;
+      },
+    }),
     buildRoutedChild<EntryEvent, 'frontend', GateState, EntryEffect>('frontend', {
       rebuildsFrom: 'nothing',
       createLogic: () => logics.frontend,
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -1,8 +1,9 @@
+import { createHash } from 'node:crypto';
 import { asFunction, asValue, createContainer } from 'awilix';
 import type { AwilixContainer } from 'awilix';
 import type { FastifyInstance } from 'fastify';
 import { classifyEvent } from './classify.js';
-import type { EntryEffect, EntryEvent } from './events.js';
+import type { EntryEffect, EntryEvent, OperatorOutcome } from './events.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import { HAND_OVER_MS } from './frontend/constants.js';
 import { createGateLogic } from './frontend/gate.js';
@@ -13,9 +14,15 @@
 import { createHeartbeatServer } from './membership/heartbeatServer.js';
 import type { HeartbeatServer } from './membership/heartbeatServer.js';
 import { createMembershipLogic, listViews } from './membership/membership.js';
+import { CHAT_ROUTE, chooseMoveVersion, createMovesLogic } from './moves/moves.js';
+import { createOperatorLogic } from './operator/operator.js';
+import { registerOperatorRoutes } from './operator/operatorRoutes.js';
+import { createNotifier } from './operator/webhook.js';
+import type { MoveRow, OperatorReplies } from './operator/operatorRoutes.js';
 import { performEffect } from './perform.js';
 import { createAppendsLogic } from './platform/appends/appends.js';
-import { LOG_TIMEOUT_MS } from './platform/constants.js';
+import { LIST_TIMEOUT_MS, LOG_TIMEOUT_MS } from './platform/constants.js';
+import { createControlLogic } from './platform/control/control.js';
 import { createIntentsLogic } from './platform/intents/intents.js';
 import { createListLogic } from './platform/list/list.js';
 import { createPlatformAdapter } from './platform/platformAdapter.js';
@@ -23,6 +30,7 @@
 import { createEndpointClient } from './requests/endpointClient.js';
 import type { EndpointClient } from './requests/endpointClient.js';
 import type { RequestsInputs } from './requests/inputs.js';
+import { createSuspicions } from './requests/suspicions.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createEntrySupervisor } from './supervisor.js';
 import type { EntryLogics, EntryStates } from './supervisor.js';
@@ -40,11 +48,14 @@
 import type { Daemon } from '../core/supervision/daemon.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import type { ChildFailure } from '../core/supervision/types.js';
+import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { findChain } from '../decisions/idempotency/table.js';
+import { getShare } from '../decisions/moves/move.js';
 import { createOwnTable } from '../decisions/placement/own.js';
+import { createBudgetTable } from '../decisions/retries/budgetTable.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
-import { createListClient } from '../platform/listClient.js';
-import { createLogClient } from '../platform/logClient.js';
+import { createListClient } from '../platform/client/listClient.js';
+import { createLogClient } from '../platform/client/logClient.js';
 import type { EntrySettings } from '../settings/types.js';
 
 /** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
@@ -69,6 +80,8 @@
   readonly requestsInputs: RequestsInputs;
   readonly logics: EntryLogics;
   readonly callers: FastifyInstance;
+  /** Set when the callers' server registers the operator interface. */
+  readonly operatorReplies: { current: OperatorReplies | null };
   readonly daemon: Daemon<EntryEvent>;
 }
 
@@ -95,7 +108,7 @@
   const { logUrl, listUrl } = cradle.settings.platform;
   return createPlatformAdapter(
     createLogClient({ baseUrl: logUrl, timeoutMs: LOG_TIMEOUT_MS }),
-    createListClient({ baseUrl: listUrl }),
+    createListClient({ baseUrl: listUrl, timeoutMs: LIST_TIMEOUT_MS }),
     (event) => {
       cradle.daemon.loop.post(event);
     },
@@ -121,9 +134,15 @@
     policy: settings.policy,
     limits: settings.limits,
     getCustomerDefault: (customer) => customers.get(customer)?.defaultClass,
-    getClasses: () => new Map(),
+    getClasses: () => states.control.view.classes,
     listEndpoints: () => listViews(states.membership, clock.now()),
-    findUrl: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report.rpcUrl,
+    findReport: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report,
+    getCustomerWeight: (customer) => customers.get(customer)?.weight ?? 1,
+    chooseVersion: (model, requestId) =>
+      chooseMoveVersion(states.moves, model, requestId, hashText),
+    getQuarantined: () => states.control.view.quarantined,
+    budgets: createBudgetTable(),
+    suspicions: createSuspicions(),
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
     getIntentLog: () => {
       const { table, log } = states.intents;
@@ -142,9 +161,23 @@
     list: createListLogic(settings.instance),
     appends: createAppendsLogic(now),
     intents: createIntentsLogic({ now, keys: settings.limits }),
+    control: createControlLogic({
+      now,
+      createId,
+      process: settings.process,
+      listPeers: () => listPeerUrls(states, settings.instance),
+      choosePeer: (peers) => peers[Math.floor(requestsInputs.random.next() * peers.length)],
+    }),
+    moves: createMovesLogic({
+      now,
+      createId,
+      process: settings.process,
+      listMoves: () => states.control.view.moves,
+    }),
+    operator: createOperatorLogic({ getConfiguration: () => states.control.configuration }),
     membership: createMembershipLogic({
       now,
-      getDelta: () => ({ watermark: 0, records: [], snapshot: null }),
+      getDelta: (offset) => decideDelta(states.control.configuration, offset),
     }),
     requests: createRequestsLogic(requestsInputs),
     frontend: createGateLogic({
@@ -156,9 +189,31 @@
   };
 };
 
+const listPeerUrls = (states: EntryStates, instance: string): readonly string[] =>
+  states.list.instances
+    .filter(({ id, role, state }) => role === 'entry' && id !== instance && state === 'live')
+    .map(({ httpUrl }) => httpUrl);
+
+const listMoveRows = (states: EntryStates): readonly MoveRow[] =>
+  [...states.moves.moves.values()].map(({ view, state, reason }) => ({
+    name: view.name,
+    model: view.model,
+    from: view.from,
+    to: view.to,
+    deadline: view.deadline,
+    share: getShare(state, CHAT_ROUTE),
+    state: view.ended?.outcome ?? state.phase,
+    reason: view.ended?.reason ?? reason,
+  }));
+
+const HASH_ALGORITHM = 'sha256';
+
+const hashText = (text: string): number =>
+  createHash(HASH_ALGORITHM).update(text).digest().readUInt32BE(0);
+
 const getUnreadyReason = (states: EntryStates): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
-  if (states.list.list === 'unread') return 'the instance list was not read yet';
+  if (states.control.source === 'none') return 'the configuration was not read yet';
   return states.membership.views.size === 0 ? 'no endpoint is known' : null;
 };
 
@@ -175,6 +230,13 @@
     },
     listModels: () => settings.models,
   });
+  server.get('/peer/configuration', () => toSnapshot(states.control.configuration));
+  cradle.operatorReplies.current = registerOperatorRoutes(server, {
+    operators: settings.operators,
+    getConfiguration: () => states.control.configuration,
+    listMoves: () => listMoveRows(states),
+    post: (event) => cradle.daemon.loop.post(event),
+  });
   registerInspectionPages(server, {
     process: settings.process,
     role: 'entry',
@@ -197,8 +259,10 @@
     heartbeats: cradle.heartbeats,
     platform: cradle.platform,
     endpoints: cradle.endpoints,
-    replyOperator: () => undefined,
-    notifyOperators: () => undefined,
+    replyOperator: (operationId: string, outcome: OperatorOutcome) => {
+      cradle.operatorReplies.current?.send(operationId, outcome);
+    },
+    notifyOperators: createNotifier(cradle.settings.webhookUrl, events),
     endProcess: (left: number) => {
       cradle.onEnd({ kind: 'drained', left });
     },
@@ -251,6 +315,7 @@
     endpoints: asFunction(buildEndpoints).singleton(),
     requestsInputs: asFunction(buildRequestsInputs).singleton(),
     logics: asFunction(buildLogics).singleton(),
+    operatorReplies: asValue({ current: null }),
     callers: asFunction(buildCallers).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
   });
