Bound the search for due and expired intent chains

Cause: planning carry-forward and expiry visited every chain in one turn of the loop. Change: the table keeps its chains in the order in which they become due, and expiry goes on from where the last call ended.

--- a/packages/decisions/idempotency/carryForward.ts
+++ b/packages/decisions/idempotency/carryForward.ts
@@ -48,10 +48,12 @@
   info: RetentionInfo,
 ): readonly CarryForwardRecord[] => {
   if (table.standing !== 'exact') return [];
-  return [...table.chains.values()]
-    .filter(({ state }) => !isKeyExpired(state.issuedAt, info.now, table.settings))
-    .filter((chain) => isDue(chain, table, info))
-    .sort((left, right) => left.coverOffset - right.coverOffset)
-    .slice(0, info.maxRecords)
-    .map(({ state }) => toCarried(state, table.nextOffset, info.now));
+  const records: CarryForwardRecord[] = [];
+  for (const chain of table.chains.values()) {
+    // The chains are in the order in which they become due.
+    if (records.length >= info.maxRecords || !isDue(chain, table, info)) break;
+    if (isKeyExpired(chain.state.issuedAt, info.now, table.settings)) continue;
+    records.push(toCarried(chain.state, table.nextOffset, info.now));
+  }
+  return records;
 };
--- a/packages/decisions/idempotency/chain.ts
+++ b/packages/decisions/idempotency/chain.ts
@@ -7,6 +7,7 @@
   ChainState,
   FoldResult,
   IntentRecord,
+  Nonce,
   OutcomeRecord,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -16,6 +17,9 @@
   readonly result: FoldResult;
 }
 
+/** Shared by all chains, because nearly every key has none. */
+const NO_NONCES: readonly Nonce[] = [];
+
 /**
  * Creates the chain of a key without an active intent.
  *
@@ -28,7 +32,7 @@
   issuedAt: record.issuedAt,
   fingerprint: null,
   link: null,
-  abandonedEarly: [],
+  abandonedEarly: NO_NONCES,
 });
 
 /**
@@ -82,7 +86,9 @@
       ...state,
       fingerprint: record.fingerprint,
       link: toLink(record, { kind: early ? 'abandoned' : 'open' }),
-      abandonedEarly: state.abandonedEarly.filter((nonce) => nonce !== record.nonce),
+      abandonedEarly: early
+        ? state.abandonedEarly.filter((nonce) => nonce !== record.nonce)
+        : state.abandonedEarly,
     },
     result: 'active',
   };
--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -13,6 +13,9 @@
 /** Early abandoned nonces remembered per key; a forgotten one only costs a fence. */
 export const MAX_EARLY_ABANDONED = 8;
 
+/** Chains that one search for expired keys looks at. */
+export const MAX_EXPIRY_VISITS = 2_000;
+
 /** Share of starts that fences may exceed the bound of the nonce table by, so that keys can be settled when it is full. */
 export const FENCE_HEADROOM = 1.25;
 
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -78,6 +78,32 @@
   t.truthy(findChain(table, 'c', 'untimed'));
 });
 
+// Guards against a search for due or expired chains that holds up the loop, or misses some.
+test('due chains come first, and expired ones are found in bounded steps', (t) => {
+  const table = createIntentTable(SETTINGS);
+  const all = [0, 1, 2].map((index) => ({
+    ...buildIntent('a', null),
+    key: `k${index.toString()}`,
+  }));
+  foldFrom(table, 0, all);
+  const plan = (firstOffset: number) =>
+    planCarryForward(table, { firstOffset, now: 0, carryAfterMs: 9, maxRecords: 2 });
+  t.deepEqual(
+    plan(1).map(({ key }) => key),
+    ['k0', 'k1'],
+  );
+  const log = [...all, ...plan(1)];
+  foldFrom(table, 0, log);
+  t.deepEqual(
+    plan(2).map(({ key }) => key),
+    ['k2', 'k0'],
+  );
+  t.deepEqual(
+    [2, 2, 2].map((visits) => expireChains(table, 301_001, visits)),
+    [2, 1, 0],
+  );
+});
+
 const nonces = fc.constantFrom('a', 'b', 'c', 'd');
 const anyRecord = fc.oneof(
   fc.tuple(nonces, fc.option(nonces)).map(([nonce, previous]) => buildIntent(nonce, previous)),
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -1,4 +1,5 @@
 import { createChainState, foldChain, toChainState } from './chain.js';
+import { MAX_EXPIRY_VISITS } from './constants.js';
 import { isKeyExpired } from './keys.js';
 import type {
   CarryForwardRecord,
@@ -39,7 +40,10 @@
  */
 export interface IntentTable {
   readonly settings: KeySettings;
+  /** While the table is exact, in the order of `coverOffset`: the chains due first come first. */
   readonly chains: Map<string, TableChain>;
+  /** Where the search for expired chains goes on. */
+  sweep: Iterator<TableChain> | null;
   standing: TableStanding;
   nextOffset: Offset;
   untimedKeys: number;
@@ -63,6 +67,7 @@
 export const createIntentTable = (settings: KeySettings): IntentTable => ({
   settings,
   chains: new Map(),
+  sweep: null,
   standing: 'catching-up',
   nextOffset: 0,
   untimedKeys: 0,
@@ -154,6 +159,9 @@
   } else if (record.asOf > chain.lastOffset) {
     chain.coverOffset = offset;
     chain.coverAt = record.at;
+    const id = toChainId(record.customer, record.key);
+    table.chains.delete(id);
+    table.chains.set(id, chain);
   }
   return 'carried';
 };
@@ -198,9 +206,14 @@
 const closeGap = (table: IntentTable): void => {
   if (table.standing === 'exact') return;
   table.standing = 'exact';
-  for (const chain of table.chains.values()) {
+  const ordered = [...table.chains].sort(
+    ([, left], [, right]) => left.coverOffset - right.coverOffset,
+  );
+  table.chains.clear();
+  for (const [id, chain] of ordered) {
     chain.base = undefined;
     chain.recent = [];
+    table.chains.set(id, chain);
   }
 };
 
@@ -233,18 +246,33 @@
   chain.state.link === null && now > chain.coverAt + settings.keyWindowMs;
 
 /**
- * Drops the chains of expired keys.
+ * Drops chains of expired keys. A call visits a bounded number of chains and the next one goes on
+ * from there, because a visit of several hundred thousand chains would hold up the loop.
  *
  * @param table - the table, updated in place
  * @param now - current instant
+ * @param maxVisits - number of chains to look at
  * @returns number of dropped chains
  */
-export const expireChains = (table: IntentTable, now: Millis): number => {
+export const expireChains = (
+  table: IntentTable,
+  now: Millis,
+  maxVisits: number = MAX_EXPIRY_VISITS,
+): number => {
   const { settings } = table;
-  const expired = [...table.chains.values()].filter(
-    (chain) =>
-      isKeyExpired(chain.state.issuedAt, now, settings) || isForgotten(chain, now, settings),
-  );
-  for (const chain of expired) removeChain(table, chain.state);
-  return expired.length;
+  table.sweep ??= table.chains.values();
+  let dropped = 0;
+  for (let visit = 0; visit < maxVisits; visit += 1) {
+    const next = table.sweep.next();
+    if (next.done === true) {
+      table.sweep = null;
+      return dropped;
+    }
+    const chain = next.value;
+    if (isKeyExpired(chain.state.issuedAt, now, settings) || isForgotten(chain, now, settings)) {
+      removeChain(table, chain.state);
+      dropped += 1;
+    }
+  }
+  return dropped;
 };
