--- /dev/null
+++ b/app/loadOutcome.ts
@@ -0,0 +1,79 @@
+import { describeProblems } from './checkSettings.js';
+import type { CommandOutcome } from './output.js';
+import { startLoadCluster } from '../packages/cluster/loadCluster.js';
+import type { RunResult } from '../packages/load/results/types.js';
+import { runPolicies } from '../packages/load/runLoad.js';
+import { loadScenario } from '../packages/load/scenario/loadScenario.js';
+import type { Scenario } from '../packages/load/scenario/types.js';
+import { writeReport } from '../packages/load/writeReport.js';
+
+/** What the command line changes in a scenario. */
+export interface LoadChanges {
+  readonly seed?: number | undefined;
+  readonly durationMs?: number | undefined;
+  readonly policy?: string | undefined;
+}
+
+const applyChanges = (scenario: Scenario, changes: LoadChanges): Scenario => ({
+  ...scenario,
+  seed: changes.seed ?? scenario.seed,
+  durationMs: changes.durationMs ?? scenario.durationMs,
+  policies:
+    changes.policy === undefined
+      ? scenario.policies
+      : scenario.policies.filter(({ kind }) => kind === changes.policy),
+});
+
+const formatMs = (value: number): string => value.toFixed(1).padStart(9);
+
+const formatResult = (result: RunResult): string => {
+  const header = [
+    `${result.policy.kind}: preemptions ${result.preemptions.toString()}, memory ${(result.meanMemoryShare * 100).toFixed(0)}%, violations ${result.violations.length.toString()}`,
+    `  ${'class'.padEnd(14)} offered finished  first p50  first p99    gap p99 gap p99.9   stall ms`,
+  ];
+  const rows = result.classes.map((row) => {
+    const counts = `${row.offered.toString().padStart(7)} ${row.finished.toString().padStart(8)}`;
+    const first = `${formatMs(row.firstToken.p50)}  ${formatMs(row.firstToken.p99)}`;
+    const gaps = `${formatMs(row.tokenGap.p99)} ${formatMs(row.tokenGap.p999)}`;
+    return `  ${row.className.padEnd(14)} ${counts}  ${first}  ${gaps}  ${formatMs(row.stallMs)}`;
+  });
+  return [...header, ...rows].join('\n');
+};
+
+const writeProgress = (text: string): void => {
+  process.stderr.write(`${text}\n`);
+};
+
+/**
+ * Runs a scenario under its policies in turn, each on a fresh cluster of processes.
+ *
+ * @param file - scenario file
+ * @param changes - what the command line changes
+ * @param output - folder for the result and the plots, if any
+ * @returns the outcome; a violated promise makes it a failure
+ */
+export const runScenario = async (
+  file: string,
+  changes: LoadChanges,
+  output: string | undefined,
+): Promise<CommandOutcome> => {
+  const loaded = loadScenario(file);
+  if (loaded.isErr()) return describeProblems(file, loaded.error);
+  const scenario = applyChanges(loaded.value, changes);
+  if (scenario.policies.length === 0) {
+    const message = `the scenario has no policy ${changes.policy ?? ''}`;
+    return { kind: 'failed', reason: 'usage', message };
+  }
+  const results = await runPolicies(scenario, async (policy) => {
+    writeProgress(`${scenario.name}: starting a cluster with ${policy.kind}`);
+    const cluster = await startLoadCluster(scenario, policy);
+    writeProgress(`${scenario.name}: running ${(scenario.durationMs / 1_000).toFixed(0)} s`);
+    return cluster;
+  });
+  const files = output === undefined ? [] : await writeReport(output, results);
+  const text = [...results.map(formatResult), ...files.map((path) => `wrote ${path}`)].join('\n');
+  const violations = results.reduce((sum, result) => sum + result.violations.length, 0);
+  if (violations === 0) return { kind: 'done', text, data: { results, files } };
+  const message = `${violations.toString()} promise violations\n${text}`;
+  return { kind: 'failed', reason: 'internal', message, data: { results, files } };
+};
--- a/packages/cluster/plan.ts
+++ b/packages/cluster/plan.ts
@@ -105,12 +105,13 @@
   index: number,
   endpoints: number,
   dataCentres: readonly DataCentreId[],
+  service: string,
   options: object,
 ): PlannedEndpoint => ({
   standin: buildStandin('service', 'ledger', `ledger-${(index + 1).toString()}`, options),
   endpoint: `endpoint-${(endpoints + 1).toString()}`,
   dataCentre: pickInTurn(dataCentres, index),
-  target: { kind: 'service', service: LEDGER_SERVICE, version: DEFAULT_VERSION },
+  target: { kind: 'service', service, version: DEFAULT_VERSION },
 });
 
 const buildRange = (length: number): readonly number[] =>
@@ -128,9 +129,10 @@
   const engines = engineSpecs.map((spec, index) =>
     planEngine(spec, { engines: index, endpoints: index }, dataCentres),
   );
+  const service = options.serviceName ?? LEDGER_SERVICE;
   const ledgerOptions = { callMs: options.ledgerCallMs };
   const ledgers = buildRange(options.ledgers ?? DEFAULT_LEDGERS).map((index) =>
-    planLedger(index, engines.length + index, dataCentres, ledgerOptions),
+    planLedger(index, engines.length + index, dataCentres, service, ledgerOptions),
   );
   const models = engineSpecs.map(({ model }: EngineSpec) => model ?? DEFAULT_MODEL);
   return {
--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -54,7 +54,7 @@
       keyHash: hashKey(key),
     })),
     operators: [{ name: 'operator-1', keyHash: hashKey(keys.operatorKey) }],
-    services: [{ name: LEDGER_SERVICE, routes: LEDGER_ROUTES }],
+    services: [{ name: options.serviceName ?? LEDGER_SERVICE, routes: LEDGER_ROUTES }],
     models: [...models],
     ...(options.policy === undefined ? {} : { policy: options.policy }),
     ...(options.limits === undefined ? {} : { limits: options.limits }),
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -49,6 +49,8 @@
   /** Ledger services, each with its endpoint daemon. */
   readonly ledgers?: number;
   readonly ledgerCallMs?: Millis;
+  /** Name of the plain service; `ledger` when absent. */
+  readonly serviceName?: string;
   readonly customers?: readonly CustomerSpec[];
   readonly policy?: EntryFile['policy'];
   readonly limits?: EntryFile['limits'];
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -37,7 +37,8 @@
   readonly now: () => Millis;
   readonly target: 'model' | 'service';
   readonly version: VersionName;
-  readonly admission: AdmissionContext['settings'];
+  /** Bounds of the limit; the accepted gap follows the targets in force. */
+  readonly getAdmission: () => AdmissionContext['settings'];
   /** Length estimates, learned from this endpoint's own generations. */
   readonly survival: SurvivalTable;
   readonly findTargets: (className: string, importance: string) => ClassTargets;
@@ -53,7 +54,7 @@
 };
 
 const toContext = (inputs: EngineInputs): AdmissionContext => ({
-  settings: inputs.admission,
+  settings: inputs.getAdmission(),
   survival: inputs.survival,
 });
 
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -83,6 +83,18 @@
   };
 };
 
+/**
+ * Finds the time between tokens up to which the limit may grow: the tightest of the published
+ * classes, since all of them share the endpoint.
+ *
+ * @param states - states of the children
+ * @returns the gap in milliseconds; 0 without published classes
+ */
+export const getAcceptedGap = (states: EndpointStates): Millis => {
+  const gaps = [...states.heartbeats.view.classes.values()].map(({ tokenGapMs }) => tokenGapMs);
+  return gaps.length === 0 ? 0 : Math.min(...gaps);
+};
+
 /**
  * Tells why the endpoint should get no new work now.
  *
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -21,7 +21,7 @@
 import { createStreamsLogic } from './streams/streams.js';
 import { createEndpointSupervisor } from './supervisor.js';
 import type { EndpointLogics, EndpointStates } from './supervisor.js';
-import { describeLoad, getClassTargets, getUnreadyReason } from './views.js';
+import { describeLoad, getAcceptedGap, getClassTargets, getUnreadyReason } from './views.js';
 import type { EndpointEffect, EndpointEvent } from './types.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
@@ -133,11 +133,12 @@
       now,
       target: settings.target.kind,
       version: settings.target.version,
-      admission: {
+      getAdmission: () => ({
         ...DEFAULT_ADMISSION_SETTINGS,
         startLimit: settings.admission.startLimit,
         maxLimit: settings.admission.maxLimit,
-      },
+        acceptedGapMs: getAcceptedGap(states),
+      }),
       survival: createSurvivalTable(),
       findTargets: (className, importance) => getClassTargets(states, className, importance),
       findThresholds: (className) => states.heartbeats.view.classes.get(className),
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -172,9 +172,16 @@
   instances: readonly ListedInstance[],
   now: Millis,
 ): MembershipStep => {
-  const listed = instances
-    .filter(({ role }) => role === 'endpoint')
-    .map(({ id, dataCentre, state: standing }) => ({ endpoint: id, dataCentre, state: standing }));
+  const endpoints = new Map(
+    [...state.table.endpoints.values()].flatMap(({ endpoint, newest }) =>
+      newest === null ? [] : [[newest.report.instance, endpoint] as const],
+    ),
+  );
+  // The list names instances; an instance without a heartbeat has no endpoint to propose yet.
+  const listed = instances.flatMap(({ id, dataCentre, state: standing }) => {
+    const endpoint = endpoints.get(id);
+    return endpoint === undefined ? [] : [{ endpoint, dataCentre, state: standing }];
+  });
   const peers = instances.filter(({ role }) => role === 'entry');
   return applyTable({ ...state, peers }, { kind: 'instance-list', instances: listed, now });
 };
