Tell a cold engine from a single stalled sequence

Cause: one gap above 6 baselines dropped the limit to its start value, but a prefill or a preemption makes such gaps on a warm engine. Change: the mean of recent gaps decides, and single gaps count up to 7.5 baselines. Plain services get settings of their own, with completions as evidence.

--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -23,9 +23,25 @@
   overflowProbability: 0.005,
 };
 
+/**
+ * Settings for a plain service: calls hold no memory, a completion is the evidence, and the latency
+ * of a call stands for the token gap. Latencies vary more between calls than token gaps do.
+ */
+export const SERVICE_ADMISSION_SETTINGS: AdmissionSettings = {
+  ...DEFAULT_ADMISSION_SETTINGS,
+  completionEvidence: 1,
+  nearFactor: 2,
+  collapseFactor: 4,
+  coldFactor: 12,
+  memoryBound: 'none',
+};
+
 /** Weight of one report in the mean of recent token gaps. */
 export const GAP_WEIGHT = 0.1;
 
+/** Largest gap that the mean of recent gaps takes in, as a multiple of the cold gap. */
+export const MAX_GAP_FACTOR = 1.25;
+
 /** Gap reports before the mean says anything about the engine. */
 export const MIN_GAP_SAMPLES = 5;
 
--- a/packages/decisions/admission/decideAdmit.ts
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -21,6 +21,7 @@
   createMemoryChange,
   estimateMemory,
 } from '../survival/forecast.js';
+import { computeQuantile } from '../survival/hazard.js';
 import type { SurvivalKey, SurvivalView } from '../survival/types.js';
 
 const toKey = (request: AdmissionRequest): SurvivalKey => ({
@@ -102,8 +103,8 @@
 const estimateRetryAfter = (state: AdmissionState, survival: SurvivalView): Millis => {
   let fewest = Infinity;
   for (const sequence of state.running.values()) {
-    const remaining = survival.estimateRemaining(toKey(sequence), sequence.generated);
-    fewest = Math.min(fewest, remaining.quantile(0.5));
+    const curve = survival.getCurve(toKey(sequence));
+    fewest = Math.min(fewest, computeQuantile(curve, sequence.generated, 0.5));
   }
   const wait = fewest * (state.gaps.recentMs ?? DEFAULT_GAP_MS);
   return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, wait)));
--- a/packages/decisions/admission/decideLimit.ts
+++ b/packages/decisions/admission/decideLimit.ts
@@ -2,6 +2,7 @@
   EVIDENCE_LOAD_SHARE,
   GAP_WEIGHT,
   GROWTH_FREE_MEMORY_SHARE,
+  MAX_GAP_FACTOR,
   MIN_GAP_SAMPLES,
 } from './constants.js';
 import type {
@@ -209,6 +210,13 @@
     : toStep(next);
 };
 
+/** A prefill or a preemption makes single gaps of seconds, which must not look like a cold engine. */
+const computeCountedGap = (
+  gapMs: Millis,
+  baselineMs: Millis | undefined,
+  settings: AdmissionSettings,
+): Millis => Math.min(gapMs, settings.coldFactor * MAX_GAP_FACTOR * (baselineMs ?? Infinity));
+
 const updateGaps = (gaps: TokenGaps, gapMs: Millis): TokenGaps => {
   const recentMs =
     gaps.recentMs === undefined ? gapMs : gaps.recentMs + GAP_WEIGHT * (gapMs - gaps.recentMs);
@@ -256,18 +264,16 @@
   const { phase } = state;
   const { baselineMs } = state.gaps;
   if (phase.kind === 'starting') return toStep(state);
-  // One such gap can be a stall of the engine, but a cold engine given full load does not recover.
-  const coldMs = Math.max(settings.coldFactor * (baselineMs ?? Infinity), settings.acceptedGapMs);
-  if (event.gapMs > coldMs) {
-    return startEngine(state, phase.identity, settings, 'cold-latency', event.now);
-  }
-  const gaps = updateGaps(state.gaps, event.gapMs);
+  const gaps = updateGaps(state.gaps, computeCountedGap(event.gapMs, baselineMs, settings));
   const next = { ...state, gaps };
-  const collapseMs = settings.collapseFactor * (gaps.baselineMs ?? Infinity);
-  if ((gaps.recentMs ?? 0) > Math.max(collapseMs, settings.acceptedGapMs)) {
-    return applyDecrease(next, settings, 'collapse', event.now);
+  const recentMs = gaps.recentMs ?? 0;
+  const factor = recentMs / (gaps.baselineMs ?? Infinity);
+  if (recentMs <= settings.acceptedGapMs || factor <= settings.collapseFactor) {
+    return addEvidence(next, event.tokens / settings.evidenceTokens, settings, event.now);
   }
-  return addEvidence(next, event.tokens / settings.evidenceTokens, settings, event.now);
+  return factor > settings.coldFactor
+    ? startEngine(next, phase.identity, settings, 'cold-latency', event.now)
+    : applyDecrease(next, settings, 'collapse', event.now);
 };
 
 const handleEnd = (
--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -97,7 +97,7 @@
     }
   | { readonly kind: 'admitted'; readonly request: AdmissionRequest; readonly now: Millis }
   | {
-      /** Tokens of one sequence arrived. */
+      /** Tokens of one sequence arrived; for a plain service, 0 tokens and the latency of a call. */
       readonly kind: 'tokens-received';
       readonly requestId: RequestId;
       readonly tokens: number;
@@ -143,9 +143,9 @@
   readonly completionEvidence: number;
   /** Gap up to which the limit grows, as a multiple of the baseline. */
   readonly nearFactor: number;
-  /** Gap from which on the limit falls, as a multiple of the baseline. */
+  /** Mean gap from which on the limit falls, as a multiple of the baseline. */
   readonly collapseFactor: number;
-  /** Gap from which on the engine's cache counts as cold, as a multiple of the baseline. */
+  /** Mean gap from which on the engine's cache counts as cold, as a multiple of the baseline. */
   readonly coldFactor: number;
   /** Gap that operators accept; the limit grows up to it even above `nearFactor`. */
   readonly acceptedGapMs: Millis;
--- a/packages/decisions/survival/hazard.ts
+++ b/packages/decisions/survival/hazard.ts
@@ -151,7 +151,15 @@
   return { mean, variance: Math.max(0, square - mean * mean) };
 };
 
-const computeQuantile = (curve: HazardCurve, generated: number, p: number): number => {
+/**
+ * Computes the further tokens that a generation does not exceed with a probability.
+ *
+ * @param curve - hazard
+ * @param generated - tokens so far
+ * @param p - probability in [0, 1]
+ * @returns tokens, finite
+ */
+export const computeQuantile = (curve: HazardCurve, generated: number, p: number): number => {
   const from = Math.min(Math.max(generated, 0), MAX_TOKENS - 1);
   const target = computeCumulative(curve, from) - Math.log(1 - Math.min(Math.max(p, 0), 1));
   for (let bucket = findBucket(from); bucket < BUCKET_COUNT; bucket += 1) {
