Drop the queue's index by request id

Cause: copying the index of 2,000 waiting requests for each event. Conclusion: a search by id is cheaper than a copied index at the queue's bound.

--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -1,6 +1,5 @@
 import {
   addToLane,
-  countLane,
   createLane,
   findHead,
   findLast,
@@ -35,7 +34,6 @@
 export const createQueueState = (settings: QueueSettings): QueueState => ({
   settings,
   lanes: new Map(),
-  laneOf: new Map(),
 });
 
 /** Ranks importance, the least important class first. */
@@ -73,20 +71,22 @@
  * @param state - queue
  * @returns number of waiting requests of all classes
  */
-export const countWaiting = (state: QueueState): number => state.laneOf.size;
+export const countWaiting = (state: QueueState): number => {
+  let count = 0;
+  for (const lane of state.lanes.values()) count += lane.count;
+  return count;
+};
 
 const countClass = (state: QueueState, className: ClassName): number => {
   let count = 0;
-  for (const lane of state.lanes.values()) {
-    if (lane.className === className) count += countLane(lane);
-  }
+  for (const lane of state.lanes.values()) if (lane.className === className) count += lane.count;
   return count;
 };
 
 const applyLane = (state: QueueState, key: string, lane: Lane): QueueState => {
   const lanes = new Map(state.lanes);
   // A lane without requests restarts its virtual time, so nobody's history has to be kept.
-  if (countLane(lane) > 0) lanes.set(key, lane);
+  if (lane.count > 0) lanes.set(key, lane);
   else lanes.delete(key);
   return { ...state, lanes };
 };
@@ -98,22 +98,31 @@
 ): QueueState => {
   const key = formatLaneKey(request);
   const lane = state.lanes.get(key);
-  if (lane === undefined) return state;
-  const laneOf = new Map(state.laneOf);
-  laneOf.delete(request.requestId);
-  return applyLane({ ...state, laneOf }, key, take(lane, request));
+  return lane === undefined ? state : applyLane(state, key, take(lane, request));
 };
 
 const addWaiting = (state: QueueState, request: WaitingRequest): QueueState => {
   const key = formatLaneKey(request);
-  const lane = state.lanes.get(key) ?? createLane(request);
-  const laneOf = new Map(state.laneOf).set(request.requestId, key);
-  return applyLane({ ...state, laneOf }, key, addToLane(lane, request));
+  return applyLane(state, key, addToLane(state.lanes.get(key) ?? createLane(request), request));
 };
 
-const findById = (state: QueueState, requestId: RequestId): WaitingRequest | undefined => {
-  const lane = state.lanes.get(state.laneOf.get(requestId) ?? '');
-  return lane === undefined ? undefined : findWaiting(lane, requestId);
+/**
+ * Finds a waiting request. The queue keeps no index by id: copying one with thousands of entries for
+ * every event took longer than this search.
+ *
+ * @param state - queue
+ * @param requestId - id of the request
+ * @returns the request, or nothing when it does not wait
+ */
+export const findRequest = (
+  state: QueueState,
+  requestId: RequestId,
+): WaitingRequest | undefined => {
+  for (const lane of state.lanes.values()) {
+    const found = findWaiting(lane, requestId);
+    if (found !== undefined) return found;
+  }
+  return undefined;
 };
 
 const buildRefusal = (
@@ -167,11 +176,14 @@
 };
 
 const handleEnqueue = (state: QueueState, request: WaitingRequest): QueueStep => {
-  if (state.laneOf.has(request.requestId)) return toStep(state);
+  if (findRequest(state, request.requestId) !== undefined) return toStep(state);
   const step = shedExcess(addWaiting(state, request), request);
-  return step.state.laneOf.has(request.requestId)
-    ? toStep(step.state, { kind: 'queued', requestId: request.requestId }, ...step.effects)
-    : step;
+  const isRefused = step.effects.some(
+    (effect) => effect.kind === 'refuse' && effect.requestId === request.requestId,
+  );
+  return isRefused
+    ? step
+    : toStep(step.state, { kind: 'queued', requestId: request.requestId }, ...step.effects);
 };
 
 const handleTick = (state: QueueState, now: Millis): QueueStep => {
@@ -188,7 +200,7 @@
 };
 
 const handleTake = (state: QueueState, requestId: RequestId): QueueStep => {
-  const request = findById(state, requestId);
+  const request = findRequest(state, requestId);
   if (request === undefined) return toStep(state);
   return toStep(removeWaiting(state, request, serveFromLane), { kind: 'serve', request });
 };
@@ -220,7 +232,7 @@
     case 'take':
       return handleTake(state, event.requestId);
     case 'cancel': {
-      const request = findById(state, event.requestId);
+      const request = findRequest(state, event.requestId);
       return toStep(request === undefined ? state : removeWaiting(state, request, removeFromLane));
     }
     case 'tick':
--- a/packages/decisions/fairness/fairness.test.ts
+++ b/packages/decisions/fairness/fairness.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { countWaiting, createQueueState, decideQueue, listHeads } from './decideQueue.js';
+import {
+  countWaiting,
+  createQueueState,
+  decideQueue,
+  findRequest,
+  listHeads,
+} from './decideQueue.js';
 import type { QueueEffect, QueueEvent, QueueState, WaitingRequest } from './types.js';
 
 const SETTINGS = { maxWaiting: 40, maxWaitingPerClass: 24, retryAfterMs: 500 };
@@ -114,7 +120,7 @@
             break;
           case 'cancel': {
             const id = item.id.toString();
-            if (state.laneOf.has(id)) addEnd(id);
+            if (findRequest(state, id) !== undefined) addEnd(id);
             apply({ kind: 'cancel', requestId: id });
             break;
           }
--- a/packages/decisions/fairness/lane.ts
+++ b/packages/decisions/fairness/lane.ts
@@ -7,6 +7,7 @@
   importance: request.importance,
   resource: request.resource,
   virtualTime: 0,
+  count: 0,
   customers: new Map(),
 });
 
@@ -19,27 +20,17 @@
 export const formatLaneKey = (request: WaitingRequest): string =>
   `${request.className}\u0000${request.resource}`;
 
-/**
- * Counts the requests that wait in a lane.
- *
- * @param lane - lane
- * @returns number of waiting requests
- */
-export const countLane = (lane: Lane): number => {
-  let count = 0;
-  for (const queue of lane.customers.values()) count += queue.waiting.length;
-  return count;
-};
-
 /** Queues without requests are kept only while they owe virtual time to the others. */
 const applyQueue = (lane: Lane, queue: CustomerQueue): Lane => {
   const customers = new Map(lane.customers);
+  const before = customers.get(queue.customer)?.waiting.length ?? 0;
+  const count = lane.count + queue.waiting.length - before;
   if (queue.waiting.length > 0 || queue.startTag > lane.virtualTime) {
     customers.set(queue.customer, queue);
   } else {
     customers.delete(queue.customer);
   }
-  return { ...lane, customers };
+  return { ...lane, customers, count };
 };
 
 const pruneQueues = (lane: Lane): Lane => {
--- a/packages/decisions/fairness/types.ts
+++ b/packages/decisions/fairness/types.ts
@@ -36,6 +36,8 @@
   readonly resource: string;
   /** Start tag of the request served last. */
   readonly virtualTime: number;
+  /** Waiting requests of all customers. */
+  readonly count: number;
   readonly customers: ReadonlyMap<CustomerId, CustomerQueue>;
 }
 
@@ -52,8 +54,6 @@
 export interface QueueState {
   readonly settings: QueueSettings;
   readonly lanes: ReadonlyMap<string, Lane>;
-  /** Lane of each waiting request. */
-  readonly laneOf: ReadonlyMap<RequestId, string>;
 }
 
 export type QueueEvent =
