--- a/packages/decisions/membership/leaseTypes.ts
+++ b/packages/decisions/membership/leaseTypes.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { Incarnation, InstanceId, Offset } from '../../core/ids.js';
 
+/** One heartbeat that was sent, by the own clock. */
 export interface SentHeartbeat {
   readonly sequence: number;
   readonly at: Millis;
@@ -28,6 +29,7 @@
   readonly configurationOffset: Offset;
 }
 
+/** What happens to an endpoint daemon; it ticks at least every 125 ms. */
 export type LeaseEvent =
   | {
       readonly kind: 'heartbeat-sent';
@@ -49,6 +51,7 @@
   | { readonly kind: 'leave' }
   | { readonly kind: 'tick'; readonly now: Millis };
 
+/** Changes that the endpoint daemon acts on. */
 export type LeaseEffect =
   | { readonly kind: 'lease-changed'; readonly lease: LeaseStatus }
   /** Starts draining: the next heartbeat says so at once. */
--- a/packages/decisions/membership/types.ts
+++ b/packages/decisions/membership/types.ts
@@ -25,6 +25,7 @@
   readonly report: Report;
 }
 
+/** Everything that an entry daemon knows of one endpoint. */
 export interface EndpointEntry<Report> {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
@@ -36,6 +37,7 @@
   readonly heardAt: Millis;
 }
 
+/** Endpoint in the instance list, which lags. */
 export interface ListedInstance {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
@@ -54,6 +56,7 @@
   readonly trustFrom: Millis;
 }
 
+/** What an entry daemon learns of endpoints. */
 export type MembershipEvent<Report> =
   | { readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat<Report>; readonly now: Millis }
   | {
@@ -69,6 +72,7 @@
   | { readonly kind: 'own-pause'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
+/** Changes that the other children of the entry daemon act on. */
 export type MembershipEffect =
   | {
       readonly kind: 'phase-changed';
--- a/packages/decisions/moves/constants.ts
+++ b/packages/decisions/moves/constants.ts
@@ -54,6 +54,7 @@
 
 /** Answers of the old version that a comparison waits for, and the looks it waits at most. */
 export const STRATUM_OLD_REQUESTS = 10;
+/** Looks after which a comparison goes on with fewer answers of the old version. */
 export const STRATUM_MAX_LOOKS = 4;
 
 /**
@@ -61,6 +62,7 @@
  * and the comparison at the same time takes care of smaller differences.
  */
 export const DRIFT_FACTOR = 1.5;
+/** Rate that is added to the drift, for versions that hardly ever fail. */
 export const DRIFT_MARGIN = 0.01;
 
 /** Weight that a recent count keeps at each look. */
--- a/packages/decisions/moves/types.ts
+++ b/packages/decisions/moves/types.ts
@@ -20,8 +20,10 @@
   readonly deadline: Millis;
 }
 
+/** Outcome of a terminal record. */
 export type MoveOutcome = 'done' | 'taken-back';
 
+/** `old` is the version that the move comes from. */
 export type VersionSide = 'old' | 'new';
 
 /** `failure`: failed among all answers. `slow`: slow among the answers that succeeded. */
@@ -53,10 +55,13 @@
   readonly counts: readonly EvidenceCounts[];
 }
 
+/** Faults among answers for both metrics. */
 export type Tallies = Readonly<Record<FaultMetric, Tally>>;
 
+/** Tallies of both versions over the same time. */
 export type SideTallies = Readonly<Record<VersionSide, Tallies>>;
 
+/** Both tests of one metric. */
 export interface MetricTests {
   /** Against answers of the old version at the same time. */
   readonly present: SequentialTest;
@@ -64,6 +69,7 @@
   readonly past: SequentialTest;
 }
 
+/** Counts and tests of one class, data centre and route. */
 export interface Cell {
   readonly name: CellName;
   /** Everything counted since the move began to be watched. */
@@ -97,6 +103,7 @@
   readonly newReportAt: Millis;
 }
 
+/** Where a clear fault was found. */
 export interface FaultFinding {
   readonly metric: FaultMetric;
   /** Null when the fault shows only over all cells together. */
@@ -113,8 +120,10 @@
       readonly doubt: 'none' | 'some';
     };
 
+/** `stopping` and `finishing` wait until a terminal record is read back from the log. */
 export type MovePhase = 'idle' | 'moving' | 'stopping' | 'finishing' | 'done' | 'taken-back';
 
+/** One move at an entry daemon. */
 export interface MoveState {
   readonly phase: MovePhase;
   readonly move: Move | null;
@@ -126,6 +135,7 @@
   readonly operator: 'not-asked' | 'asked';
 }
 
+/** What an entry daemon learns of a move; it ticks every 500 ms. */
 export type MoveEvent =
   | { readonly kind: 'move-record'; readonly move: Move; readonly now: Millis }
   | {
@@ -138,6 +148,7 @@
   | { readonly kind: 'take-back-order'; readonly author: string; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
+/** Shares to apply, records to append and reports to operators. */
 export type MoveEffect =
   | { readonly kind: 'shares-changed'; readonly routes: ReadonlyMap<string, number> }
   | {
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -16,12 +16,16 @@
 /** Endpoints lost within the window below that point to a rack, a switch or a data centre. */
 export const CORRELATED_LOSSES = 3;
 
+/** Covers the spread of the gone timers of endpoints that were lost together. */
 export const CORRELATED_WINDOW_MS = 3_000;
 
+/** Suspects kept; a crash adds as many as the endpoint ran at once. */
 export const MAX_SUSPECTS = 4_096;
 
+/** Quarantined fingerprints kept; above the bound the oldest one is dropped. */
 export const MAX_QUARANTINED = 10_000;
 
+/** Fingerprints kept that ran well; a forgotten one only counts as untried again. */
 export const MAX_TRIED = 50_000;
 
 /** Requests that may wait for their turn to run alone; more are refused. */
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -15,11 +15,13 @@
 /** `crash`: the engine ended by itself. `lost`: the endpoint fell silent, for any reason. */
 export type LossCause = 'crash' | 'lost';
 
+/** Losses of different endpoint starts in which a fingerprint was in flight. */
 export interface Suspect {
   readonly losses: readonly { readonly id: string; readonly cause: LossCause }[];
   readonly since: Millis;
 }
 
+/** A fingerprint that is refused until it expires. */
 export interface Quarantined {
   readonly expiresAt: Millis;
   /** Whether the record was read back from the control log. */
@@ -27,11 +29,13 @@
   readonly askedAt: Millis;
 }
 
+/** A request in flight at an endpoint. */
 export interface Attempt extends EndpointStart {
   readonly requestId: RequestId;
   readonly fingerprint: Fingerprint;
 }
 
+/** A request that waits for its turn to run alone. */
 export interface HeldRequest {
   readonly requestId: RequestId;
   readonly fingerprint: Fingerprint;
@@ -68,8 +72,10 @@
   | { readonly kind: 'hold' }
   | { readonly kind: 'refuse'; readonly failure: Failure };
 
+/** `refused`: it did not run. `failed`: it ended with an error while the endpoint lived on. */
 export type AttemptOutcome = 'well' | 'refused' | 'failed';
 
+/** What an entry daemon learns of attempts and endpoints. */
 export type SuspicionEvent =
   | ({ readonly kind: 'attempt-started' } & Attempt)
   | {
@@ -94,6 +100,7 @@
     }
   | { readonly kind: 'tick'; readonly now: Millis };
 
+/** Records to append, and held requests to place or refuse. */
 export type SuspicionEffect =
   | {
       readonly kind: 'append-quarantine';
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -17,6 +17,7 @@
   readonly minimumMs: Millis;
 }
 
+/** Why a failed attempt is the last one. */
 export type GiveUpReason =
   | 'permanent-failure'
   | 'answer-shown'
@@ -25,10 +26,12 @@
   | 'deadline-too-near'
   | 'budget-spent';
 
+/** What follows a failed attempt. */
 export type RetryDecision =
   | { readonly kind: 'retry'; readonly delayMs: Millis }
   | { readonly kind: 'give-up'; readonly reason: GiveUpReason };
 
+/** Decision together with the budget that is left. */
 export interface RetryOutcome {
   readonly decision: RetryDecision;
   readonly budget: RetryBudget;
--- a/packages/decisions/streams/buffer.ts
+++ b/packages/decisions/streams/buffer.ts
@@ -27,6 +27,7 @@
 
 type BufferStep = Step<BufferState, BufferEffect>;
 
+/** Bounds of a buffer in a running daemon. */
 export const DEFAULT_BUFFER_LIMITS: BufferLimits = {
   maxChunks: BUFFER_MAX_CHUNKS,
   maxBytes: BUFFER_MAX_BYTES,
@@ -180,7 +181,8 @@
     return refuseReader(event, 'lost-race', REPLACED_TEXT);
   }
   if (event.fromNumber < ring.getFirst()) {
-    const text = `chunk ${event.fromNumber.toString()} is no longer kept; the first one is ${ring.getFirst().toString()}`;
+    const first = ring.getFirst().toString();
+    const text = `chunk ${event.fromNumber.toString()} is no longer kept; the first is ${first}`;
     return refuseReader(event, 'stream-lost', text);
   }
   if (event.fromNumber > ring.getNext()) {
--- a/packages/decisions/streams/bufferTypes.ts
+++ b/packages/decisions/streams/bufferTypes.ts
@@ -19,15 +19,18 @@
   readonly activeAt: Millis;
 }
 
+/** How the engine ended a generation. */
 export type BufferEnd =
   | { readonly kind: 'finished'; readonly usage: string }
   | { readonly kind: 'failed'; readonly failure: Failure };
 
+/** `ended` generations stay readable until they are released. */
 export type BufferPhase = 'generating' | 'ended' | 'released';
 
 /** Whether chunks are read from the engine's connection now. */
 export type EngineFlow = 'flowing' | 'paused';
 
+/** Bounds of one buffer; bytes are counted as the length of the JSON strings. */
 export interface BufferLimits {
   readonly maxChunks: number;
   readonly maxBytes: number;
@@ -48,6 +51,7 @@
   readonly idleSince: Millis;
 }
 
+/** What the engine, a reader or the clock does to a buffer. */
 export type BufferEvent =
   | { readonly kind: 'engine-chunks'; readonly chunks: readonly Chunk[]; readonly now: Millis }
   | { readonly kind: 'engine-finished'; readonly usage: string; readonly now: Millis }
@@ -66,6 +70,7 @@
   | { readonly kind: 'cancelled'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
+/** Messages to readers and orders to the engine. */
 export type BufferEffect =
   | ({
       readonly kind: 'send-chunks';
--- a/packages/decisions/streams/constants.ts
+++ b/packages/decisions/streams/constants.ts
@@ -1,9 +1,13 @@
-/** Time without any sign of a generation after which its endpoint counts as dead; equals the gone timer of membership. */
+/**
+ * Time without any sign of a generation after which its endpoint counts as dead; equals the gone
+ * timer of membership.
+ */
 export const RESUME_TIMEOUT_MS = 5_000;
 
 /** Delay before the second resume in a row; the first is immediate and later ones double it. */
 export const RESUME_BACKOFF_FIRST_MS = 50;
 
+/** Longest delay between two resumes. */
 export const RESUME_BACKOFF_MAX_MS = 1_000;
 
 /** Time without a reader after which a generation is cancelled at the engine. */
@@ -18,6 +22,7 @@
 /** Chunks kept per generation; with the byte bound this limits 100 streams to 50 MB. */
 export const BUFFER_MAX_CHUNKS = 4_096;
 
+/** Bytes kept per generation. */
 export const BUFFER_MAX_BYTES = 512 * 1_024;
 
 /** Chunks sent to a reader and not yet taken; bounds what waits in the connection. */
--- a/packages/decisions/streams/types.ts
+++ b/packages/decisions/streams/types.ts
@@ -15,6 +15,7 @@
   readonly incarnation: Incarnation;
 }
 
+/** `waiting`: the link is lost and the next resume is scheduled. */
 export type DeliveryPhase = 'idle' | 'receiving' | 'waiting' | 'ended';
 
 /** Chunks received and not yet shown, newest batch first, so that adding one batch is O(1). */
@@ -54,6 +55,7 @@
   readonly link: number;
 }
 
+/** What happens to a caller's stream. */
 export type DeliveryEvent =
   | { readonly kind: 'attempt-started'; readonly source: GenerationSource }
   | ({ readonly kind: 'link-opened' } & LinkIdentity)
@@ -82,6 +84,7 @@
   | { readonly kind: 'drain-ended' }
   | { readonly kind: 'caller-gone' };
 
+/** What the entry daemon writes to the caller or asks of an endpoint daemon. */
 export type DeliveryEffect =
   | {
       readonly kind: 'write-chunks';
