Refuse starts that arrive after a refused resume, and tick the lease

The lease takes 500 ms of silence for a pause, and the regular heartbeat comes every 500 ms, so without a tick of its own a late timer ended the lease. A start that overtakes nothing but arrives after its resume was refused could run a generation a second time; it is refused as not-run now. Endpoints may name the evidence that their ramp needs.

--- a/packages/cluster/loadCluster.ts
+++ b/packages/cluster/loadCluster.ts
@@ -26,6 +26,7 @@
       ? {}
       : { serviceName: service.service, ledgerCallMs: service.callMs }),
     customers: customers.map(({ id, weight }) => ({ id, weight })),
+    ...(deployment.admission === undefined ? {} : { admission: deployment.admission }),
     policy,
   };
 };
--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -1,16 +1,12 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { z } from 'zod';
 import { CLUSTER_DRAIN_MS, LEDGER_SERVICE } from './constants.js';
 import { hashKey } from './keys.js';
 import type { EndpointTarget, PlannedEndpoint, PlannedEntry } from './plan.js';
 import type { Listing, ProcessSpec, Urls } from './processes/types.js';
-import type { ClusterOptions, CustomerSpec, EntryFile } from './types.js';
+import type { ClusterOptions, CustomerSpec, EndpointFile, EntryFile } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { ModelName } from '../core/ids.js';
-import type { ENDPOINT_SCHEMA } from '../settings/endpointSchema.js';
-
-type EndpointFile = z.input<typeof ENDPOINT_SCHEMA>;
 
 /** Bearer keys and the secret of a cluster; settings files hold only the hashes of keys. */
 export interface ClusterKeys {
@@ -87,6 +83,7 @@
   rpc: FREE_PORT,
   platform: { listUrl: context.platformUrl },
   target: buildTarget(planned.target, standinUrls),
+  ...(context.options.admission === undefined ? {} : { admission: context.options.admission }),
   drainMs: context.options.drainMs ?? CLUSTER_DRAIN_MS,
   log: { format: context.options.logFormat ?? 'json' },
 });
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -2,12 +2,15 @@
 import type { ProcessExit, ProcessRole } from './processes/types.js';
 import type { Millis } from '../core/clock.js';
 import type { DataCentreId, ModelName, VersionName } from '../core/ids.js';
+import type { ENDPOINT_SCHEMA } from '../settings/endpointSchema.js';
 import type { ENTRY_SCHEMA } from '../settings/entrySchema.js';
 import type { EngineSettings } from '../standins/engine/types.js';
 import type { PlatformOptions } from '../standins/platform/types.js';
 
 export type EntryFile = z.input<typeof ENTRY_SCHEMA>;
 
+export type EndpointFile = z.input<typeof ENDPOINT_SCHEMA>;
+
 /** Start options of an engine stand-in that its command has flags for. */
 export type EngineStandinOptions = Partial<
   Pick<
@@ -49,6 +52,8 @@
   /** Ledger services, each with its endpoint daemon. */
   readonly ledgers?: number;
   readonly ledgerCallMs?: Millis;
+  /** Bounds of the endpoint daemons' admission limit. */
+  readonly admission?: EndpointFile['admission'];
   /** Name of the plain service; `ledger` when absent. */
   readonly serviceName?: string;
   readonly customers?: readonly CustomerSpec[];
--- a/packages/endpoint/classify.ts
+++ b/packages/endpoint/classify.ts
@@ -39,6 +39,7 @@
     case 'cancel':
     case 'sweep':
     case 'beat':
+    case 'tick':
     case 'beat-due':
     case 'acknowledged':
     case 'beat-failed':
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -1,3 +1,4 @@
+import { LEASE_TICK_MS } from './constants.js';
 import { applyHeartbeatAnswer } from './configuration.js';
 import type { HeartbeatsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -153,6 +154,11 @@
     }
     case 'beat':
       return sendBeat(state, inputs);
+    case 'tick': {
+      const step = applyLease(state, { kind: 'tick', now: inputs.now() });
+      const again: EndpointEffect = { kind: 'schedule', delayMs: LEASE_TICK_MS, event };
+      return toStep(step.state, ...step.effects, again);
+    }
     case 'acknowledged': {
       // The configuration counts before the lease: work let in by the lease must know it.
       const configured = takeConfiguration(state, event.answer, inputs);
@@ -189,6 +195,7 @@
         view: buildView(configuration),
       },
       { kind: 'post', event: { to: 'heartbeats', kind: 'beat-due' } },
+      { kind: 'post', event: { to: 'heartbeats', kind: 'tick' } },
     );
   },
   decide: (state, event) => decide(state, event, inputs),
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -1,4 +1,4 @@
-import { PROGRESS_REPORT_MS, SWEEP_MS } from './constants.js';
+import { PROGRESS_REPORT_MS, REFUSED_KEPT_MS, SWEEP_MS } from './constants.js';
 import type { Generation, ReaderLink, StreamsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -150,6 +150,10 @@
   call: GenerateCall,
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
+  if (state.refused.has(call.generationId)) {
+    const text = 'the start arrived after a resume of the generation was refused';
+    return [...refuseCall(call, createFailure('not-run', 'fenced', text)), describeRefused(call)];
+  }
   const now = inputs.now();
   const generation: Generation = {
     call,
@@ -218,6 +222,7 @@
     return [resumed, ...openReader(state, known, call, inputs.now())];
   }
   if (call.mode === 'resume') {
+    state.refused.set(call.generationId, inputs.now());
     const text = `generation ${call.generationId} is not held here any more`;
     return refuseCall(call, createFailure('may-have-run', 'stream-lost', text));
   }
@@ -346,7 +351,34 @@
   return applyBuffer(state, generation, { kind: 'cancelled', now });
 };
 
+/** Takes the admitted sequence off the limit again. */
+const describeRefused = (call: GenerateCall): EndpointEffect => ({
+  kind: 'post',
+  event: {
+    to: 'engine',
+    kind: 'work-ended',
+    outcome: {
+      workId: call.generationId,
+      customer: call.customer,
+      route: call.route,
+      className: call.className,
+      result: 'cancelled',
+      firstTokenMs: null,
+      tokenGapMsSum: 0,
+      tokenGaps: 0,
+    },
+  },
+});
+
+const pruneRefused = (state: StreamsState, now: Millis): void => {
+  for (const [generationId, at] of state.refused) {
+    if (now - at < REFUSED_KEPT_MS) return;
+    state.refused.delete(generationId);
+  }
+};
+
 const expireGenerations = (state: StreamsState, now: Millis): readonly EndpointEffect[] => {
+  pruneRefused(state, now);
   const ticks = [...state.generations.values()].flatMap((generation) =>
     applyBuffer(state, generation, { kind: 'tick', now }),
   );
@@ -393,7 +425,13 @@
 ): ChildLogic<StreamsState, StreamsEvent, EndpointEffect> => ({
   init: (): StreamsStep =>
     toStep<StreamsState, EndpointEffect>(
-      { generations: new Map(), readers: new Map(), calls: new Map(), running: 0 },
+      {
+        generations: new Map(),
+        readers: new Map(),
+        calls: new Map(),
+        refused: new Map(),
+        running: 0,
+      },
       { kind: 'reset-generations' },
       { kind: 'schedule', delayMs: SWEEP_MS, event: { to: 'streams', kind: 'sweep' } },
     ),
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -31,6 +31,11 @@
   readonly generations: Map<GenerationId, Generation>;
   readonly readers: Map<CallId, ReaderLink>;
   readonly calls: Map<string, CallId>;
+  /**
+   * Generations whose resume was refused, with the time of the refusal. Their entry daemon may have
+   * started them elsewhere, so a start that arrives late must be refused as well.
+   */
+  readonly refused: Map<GenerationId, Millis>;
   /** Generations that the engine works on. */
   running: number;
 }
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -250,6 +250,8 @@
   | { readonly to: 'heartbeats'; readonly kind: 'beat-due' }
   /** An extra heartbeat, since something changed that entry daemons must know at once. */
   | { readonly to: 'heartbeats'; readonly kind: 'beat' }
+  /** Looks at the clock, so that a pause of the process ends the lease. */
+  | { readonly to: 'heartbeats'; readonly kind: 'tick' }
   | {
       readonly to: 'heartbeats';
       readonly kind: 'acknowledged';
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -137,6 +137,7 @@
         ...DEFAULT_ADMISSION_SETTINGS,
         startLimit: settings.admission.startLimit,
         maxLimit: settings.admission.maxLimit,
+        evidenceTokens: settings.admission.evidenceTokens,
         acceptedGapMs: getAcceptedGap(states),
       }),
       survival: createSurvivalTable(),
--- a/packages/load/scenario/schema.ts
+++ b/packages/load/scenario/schema.ts
@@ -53,6 +53,8 @@
   entries: COUNT,
   engines: z.array(ENGINE_SCHEMA).min(1),
   services: z.array(SERVICE_SCHEMA).default([]),
+  /** Admission settings of the endpoint daemons. */
+  admission: z.strictObject({ evidenceTokens: COUNT }).optional(),
 });
 
 /** What operators publish for a class. */
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -12,6 +12,8 @@
 export const DEFAULT_MAX_UNTIMED_KEYS = 100_000;
 export const DEFAULT_START_LIMIT = 2;
 export const DEFAULT_MAX_LIMIT = 256;
+/** Tokens of each running sequence that are evidence for one step of the ramp. */
+export const DEFAULT_EVIDENCE_TOKENS = 256;
 export const DEFAULT_MAX_CHUNKS = 65_536;
 export const DEFAULT_BUFFER_BYTES = 268_435_456;
 export const DEFAULT_BUFFER_RETENTION_MS: Millis = 60_000;
--- a/packages/settings/endpointSchema.ts
+++ b/packages/settings/endpointSchema.ts
@@ -5,6 +5,7 @@
   DEFAULT_BUFFER_BYTES,
   DEFAULT_BUFFER_RETENTION_MS,
   DEFAULT_DRAIN_MS,
+  DEFAULT_EVIDENCE_TOKENS,
   DEFAULT_HEARTBEAT_INTERVAL_MS,
   DEFAULT_LEASE_MS,
   DEFAULT_MAX_CHUNKS,
@@ -45,6 +46,10 @@
   .strictObject({
     startLimit: buildCount(DEFAULT_START_LIMIT, 'Concurrent sequences after a start.'),
     maxLimit: buildCount(DEFAULT_MAX_LIMIT, 'Largest admission limit.'),
+    evidenceTokens: buildCount(
+      DEFAULT_EVIDENCE_TOKENS,
+      'Tokens of each sequence that let the limit grow by a quarter; fewer for an engine that warms up fast.',
+    ),
     memorySafetyShare: buildShare('Share of engine memory that is kept free.').optional(),
   })
   .refine((admission) => admission.startLimit <= admission.maxLimit, {
