Let a queued request go to endpoints that refused it

Cause: an endpoint that refused a request for lack of room was left out until four refusals had come. Ruled out: a lost capacity event (heartbeats arrived) and a stuck link (the request had no place). Change: a request that waits in the queue forgets the endpoints that refused it. Before: 'an engine that restarts cold' and the test after it pending after 120 s. After: all four tests of onceInOrder pass, the cold restart in 8.8 s.

--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -1,6 +1,7 @@
 import type { EndpointCompletion } from './endpointClient.js';
 import type { RequestsInputs } from './inputs.js';
 import {
+  enqueueRequest,
   failRequest,
   holdRequest,
   logAttemptEnd,
@@ -110,11 +111,7 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<CallState, EntryEffect>({
-        ...state,
-        waiting: 'in-queue',
-        lastFailureText: result.reason,
-      });
+      return enqueueRequest(state, result.reason);
     case 'hold':
       return holdRequest(state, inputs);
     case 'fail':
--- a/packages/entry/requests/constants.ts
+++ b/packages/entry/requests/constants.ts
@@ -1,9 +1,6 @@
 /** Time within which an endpoint daemon must answer the opening of a link. */
 export const LINK_OPEN_TIMEOUT_MS = 2_000;
 
-/** Refusals for lack of room after which endpoints that refused before are tried again. */
-export const MAX_BOUNCES = 4;
-
 /** Version of endpoints that report none. */
 export const NO_VERSION = 'unversioned';
 
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -1,4 +1,5 @@
 import {
+  enqueueRequest,
   failRequest,
   holdRequest,
   logAttemptEnd,
@@ -108,11 +109,7 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<GenerationState, EntryEffect>({
-        ...state,
-        waiting: 'in-queue',
-        lastFailureText: result.reason,
-      });
+      return enqueueRequest(state, result.reason);
     case 'hold':
       return holdRequest(state, inputs);
     case 'fail':
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -4,6 +4,7 @@
 import type { FenceAnswer } from './endpointClient.js';
 import type { RequestsInputs } from './inputs.js';
 import {
+  enqueueRequest,
   failRequest,
   holdRequest,
   logAttemptEnd,
@@ -100,11 +101,7 @@
   const result = selectPlace(state, inputs);
   switch (result.kind) {
     case 'wait':
-      return toStep<KeyedState, EntryEffect>({
-        ...state,
-        waiting: 'in-queue',
-        lastFailureText: result.reason,
-      });
+      return enqueueRequest(state, result.reason);
     case 'hold':
       return holdRequest(state, inputs);
     case 'fail':
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -1,5 +1,6 @@
 import type { RequestsInputs } from './inputs.js';
 import type { RequestState } from './types.js';
+import type { EndpointId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
@@ -52,6 +53,24 @@
   );
 };
 
+const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set();
+
+/**
+ * Lets a request wait in the queue. It may then go to any endpoint again: those that refused it
+ * earlier may have room by the time it is its turn, and there may be no others.
+ *
+ * @param state - request without a place
+ * @param reason - why no endpoint takes it now
+ * @returns the step of the request
+ */
+export const enqueueRequest = (state: RequestState, reason: string): RequestStep =>
+  toStep<RequestState, EntryEffect>({
+    ...state,
+    waiting: 'in-queue',
+    excluded: NO_ENDPOINTS,
+    lastFailureText: reason,
+  });
+
 /**
  * Puts a suspected request aside until it may run alone.
  *
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -1,8 +1,7 @@
-import { MAX_BOUNCES, NO_VERSION } from './constants.js';
+import { NO_VERSION } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
 import type { Placed, RequestState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { EndpointId } from '../../core/ids.js';
 import type { Failure } from '../../core/verdict.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import type {
@@ -48,10 +47,6 @@
   }
 };
 
-/** Endpoints that bounced a request are tried again once all others have refused it as well. */
-const listExcluded = (state: RequestState): ReadonlySet<EndpointId> =>
-  state.bounces >= MAX_BOUNCES ? new Set() : state.excluded;
-
 const listAllowed = (
   endpoints: readonly EndpointView[],
   rule: PlacementRule,
@@ -85,7 +80,7 @@
     promptTokens: getPromptTokens(state),
     ...(request.kind === 'generation' ? { prefix: request.prefix } : {}),
     dataCentre: inputs.dataCentre,
-    excluded: listExcluded(state),
+    excluded: state.excluded,
   };
 };
 
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -31,7 +31,7 @@
 interface RequestBase {
   readonly policy: ClassPolicy;
   readonly deadlineAt: Millis;
-  /** Endpoints that failed or refused this request. */
+  /** Endpoints that failed or refused this request since it last waited in the queue. */
   readonly excluded: ReadonlySet<EndpointId>;
   /** Attempts that reached an endpoint daemon. */
   readonly attempts: number;
