Hold requests back from an endpoint that refused for lack of room

Cause: the entry daemon's view of an endpoint is a heartbeat old and does not show the placements of other entry daemons, so a refused request went back to the same full endpoint every 50 ms (12 attempts within 600 ms in one process test's log). Change: a refusal counts as that many requests at the endpoint until its next report, or until a placement of this daemon ends there. A listener that closes also ends links that peers leave open after 2 s. Before: gracefulShutdown's third test hung in 3 of 9 runs of its file although all streams had ended (log of the daemons); whether the exit or the reader hung is not known.

--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -102,6 +102,18 @@
     own.settleReport('cold', 2_000);
     t.is(choose(endpoints, buildRequest(), policy, own).kind, 'place');
   });
+
+  // Guards against sending to a full endpoint again and again while its last report shows room.
+  test(`${policy.kind} avoids an endpoint that refused for lack of room until its next report`, (t) => {
+    const own = createOwnTable(survival);
+    const endpoints = [buildEndpoint('full', { limit: 2, running: 0 })];
+    own.recordRefusal('full', 2, 2_000);
+    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'wait');
+    own.settleReport('full', 1_900);
+    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'wait');
+    own.settleReport('full', 2_100);
+    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'place');
+  });
 }
 
 const endpointChange = fc.record({
--- a/packages/decisions/placement/eligible.ts
+++ b/packages/decisions/placement/eligible.ts
@@ -39,7 +39,7 @@
 
 /**
  * Counts the requests at an endpoint now: the last report, corrected by this daemon's placements
- * and completions since.
+ * and completions since. A refusal since then shows the requests of other entry daemons.
  *
  * @param endpoint - last report
  * @param own - this daemon's placements
@@ -49,7 +49,8 @@
   const load = own.getLoad(endpoint.endpoint);
   const reported = endpoint.running + endpoint.waiting;
   if (load === undefined) return reported;
-  return Math.max(0, reported - load.endedCount) + load.newCount;
+  const count = Math.max(0, reported - load.endedCount) + load.newCount;
+  return Math.max(count, load.refusedAtCount);
 };
 
 /**
--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -23,6 +23,7 @@
   readonly load: Writable<OwnLoad>;
   readonly placements: Map<RequestId, Tracked>;
   ended: readonly Ended[];
+  refusedAt: Millis;
 }
 
 /**
@@ -36,6 +37,11 @@
   readonly updateProgress: (requestId: RequestId, generated: number) => void;
   /** Ends a placement. */
   readonly releasePlacement: (requestId: RequestId, now: Millis) => void;
+  /**
+   * Notes that an endpoint refused a request for lack of room: until its next report or until a
+   * placement of this daemon ends there, it counts as having `count` requests.
+   */
+  readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
   /** Notes that a load report taken at `takenAt` (this daemon's clock) replaced the last one. */
   readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
   /** Forgets an endpoint that is gone, with its placements. */
@@ -51,10 +57,12 @@
     newTokens: 0,
     endedCount: 0,
     endedTokens: 0,
+    refusedAtCount: 0,
     change: createMemoryChange(),
   },
   placements: new Map(),
   ended: [],
+  refusedAt: 0,
 });
 
 const updateSums = (
@@ -117,6 +125,7 @@
     const tokens = getSize(tracked);
     endpointOf.delete(requestId);
     entry.placements.delete(requestId);
+    entry.load.refusedAtCount = 0;
     updateSums(entry.load, tracked.report, -1, -tokens);
     mergeMemoryChange(entry.load.change, tracked.change, -1);
     // Sums of differences collect rounding errors; an idle endpoint starts again from zero.
@@ -153,6 +162,11 @@
       mergeMemoryChange(entry.load.change, tracked.change);
     },
     releasePlacement,
+    recordRefusal: (endpoint, count, now) => {
+      const entry = getEntry(endpoint);
+      entry.load.refusedAtCount = count;
+      entry.refusedAt = now;
+    },
     settleReport: (endpoint, takenAt) => {
       const entry = entries.get(endpoint);
       if (entry === undefined) return;
@@ -162,6 +176,7 @@
         tracked.report = 'included';
         updateSums(entry.load, 'included', 1, getSize(tracked));
       }
+      if (takenAt >= entry.refusedAt) entry.load.refusedAtCount = 0;
       entry.ended = entry.ended.filter((item) => item.endedAt > takenAt);
       entry.load.endedCount = entry.ended.length;
       entry.load.endedTokens = entry.ended.reduce((sum, item) => sum + item.tokens, 0);
--- a/packages/decisions/placement/types.ts
+++ b/packages/decisions/placement/types.ts
@@ -99,6 +99,8 @@
   /** Placements that ended since the last load report, which still counts them. */
   readonly endedCount: number;
   readonly endedTokens: number;
+  /** Requests that the endpoint had at least when it last refused one for lack of room. */
+  readonly refusedAtCount: number;
   /** Predicted change of memory by the placements in flight. */
   readonly change: MemoryChange;
 }
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -4,6 +4,7 @@
 import type { RequestState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { Failure } from '../../core/verdict.js';
+import { computeClassLimit } from '../../decisions/placement/classBounds.js';
 import { decideRetry, recordSuccess } from '../../decisions/retries/retry.js';
 import type { EntryEffect } from '../events.js';
 
@@ -42,6 +43,16 @@
   };
 };
 
+/** Keeps other requests away from an endpoint without room until it reports its load again. */
+const recordRefusal = (state: RequestState, failure: Failure, inputs: RequestsInputs): void => {
+  const { place, policy } = state;
+  if (place === null || failure.code !== 'overloaded') return;
+  const report = inputs.findReport(place.endpoint);
+  if (report === undefined) return;
+  const count = computeClassLimit(report.load.limit, policy);
+  inputs.own.recordRefusal(place.endpoint, count, inputs.now());
+};
+
 /**
  * Decides whether a request is tried again after a failed attempt with nothing shown.
  *
@@ -57,6 +68,7 @@
 ): NextAttempt => {
   const now = inputs.now();
   if (isBounce(failure) && now < state.deadlineAt) {
+    recordRefusal(state, failure, inputs);
     const bounces = state.bounces + 1;
     return buildAgain(state, failure, bounces, bounces > 1 ? BOUNCE_PAUSE_MS : 0);
   }
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -3,6 +3,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter, Http2SessionManager } from '@connectrpc/connect-node';
 import {
+  CLOSE_GRACE_MS,
   LINK_PING_INTERVAL_MS,
   LINK_PING_TIMEOUT_MS,
   MAX_CONCURRENT_STREAMS,
@@ -53,6 +54,10 @@
           resolve();
         });
         for (const session of sessions) session.close();
+        // A peer that never ends a stream would keep the process from its exit.
+        setTimeout(() => {
+          for (const session of sessions) session.destroy();
+        }, CLOSE_GRACE_MS).unref();
       }),
   };
 };
