Measure how control costs grow with the target sizes

The target size asks for costs per daemon that were never measured. `npm run bench:capacity` measures state, bytes and processor time of the real modules at three sizes or more, fits a line by least squares and writes JSON to results/. docs/CAPACITY.md holds the slopes so far.

--- /dev/null
+++ b/packages/capacity/capacity.test.ts
@@ -0,0 +1,63 @@
+import { readFileSync } from 'node:fs';
+import test from 'ava';
+import { MEASURES } from './measures/catalogue.js';
+import type { MeasureName } from './measures/catalogue.js';
+import { EXPERIMENTS, runExperiments, toResults } from './runCapacity.js';
+
+const PAGE = new URL('../../../docs/CAPACITY.md', import.meta.url);
+const SLOPES = /<!-- slopes -->([\s\S]*?)<!-- \/slopes -->/;
+const ROW = /^\| `([^`]+)` \|/gm;
+const CITED = /`([a-z]+\.[a-z-]+)`/g;
+
+const page = readFileSync(PAGE, 'utf8');
+const names: readonly string[] = MEASURES.map(({ name }) => name);
+const table = SLOPES.exec(page)?.[1] ?? '';
+const listed = [...table.matchAll(ROW)].map(([, name]) => name ?? '');
+
+// Guards against a figure on the page that no run of the bench can reproduce.
+test('the table of slopes lists exactly the measures of the bench', (t) => {
+  t.deepEqual([...listed].sort(), [...names].sort());
+});
+
+// Guards against a line of the page that is worked out from a slope that was renamed or removed.
+test('every measure that the page cites is in the list of the bench', (t) => {
+  const prefixes = new Set(names.map((name) => name.split('.')[0]));
+  const cited = [...page.matchAll(CITED)]
+    .map(([, name]) => name ?? '')
+    .filter((name) => prefixes.has(name.split('.')[0]));
+  t.true(cited.length >= names.length);
+  t.deepEqual(
+    cited.filter((name) => !names.includes(name)),
+    [],
+  );
+});
+
+// Guards against a line through two points, whose residual is always nil.
+test('every experiment measures at three sizes or more', (t) => {
+  for (const { name, sizes } of EXPERIMENTS) t.true(new Set(sizes).size >= 3, name);
+});
+
+// Guards against a measure of the list that no experiment takes, or that a fit mixes with another one.
+test('results hold one line for each measure with its own points', async (t) => {
+  const measure = (size: number) =>
+    ({ 'list.answer': 5 + 2 * size, 'survival.state': 7 * size }) satisfies Partial<
+      Record<MeasureName, number>
+    >;
+  const started: string[] = [];
+  const results = await runExperiments([{ name: 'fake', sizes: [1, 2, 4], measure }], (name) => {
+    started.push(name);
+  });
+  t.deepEqual(started, ['fake']);
+  t.deepEqual(
+    results.map((result) => [
+      result.measure,
+      Number(result.line.slope.toFixed(9)),
+      result.points.length,
+    ]),
+    [
+      ['survival.state', 7, 3],
+      ['list.answer', 2, 3],
+    ],
+  );
+  t.deepEqual(toResults([]), []);
+});
--- /dev/null
+++ b/packages/capacity/measures/heartbeatCalls.ts
@@ -0,0 +1,107 @@
+import { fork } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { subscribe, unsubscribe } from 'node:diagnostics_channel';
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { fileURLToPath } from 'node:url';
+import { getProcessorTime } from '../sampling/duration.js';
+import type { Experiment } from '../types.js';
+import { decideDelta } from '../../decisions/configuration/exchange.js';
+import { createConfiguration } from '../../decisions/configuration/fold.js';
+import { createHeartbeatServer } from '../../entry/membership/heartbeatServer.js';
+import { createMembershipLogic } from '../../entry/membership/membership.js';
+
+/** What the sending process is told to do. */
+export type SenderOrder =
+  | { readonly kind: 'connect'; readonly endpoints: number }
+  | { readonly kind: 'send-rounds'; readonly url: string; readonly rounds: number }
+  | { readonly kind: 'close' };
+
+export interface SenderReport {
+  readonly kind: 'done';
+}
+
+/** Heartbeats in one measurement, so that small fleets are measured over several rounds. */
+const HEARTBEATS_PER_MEASUREMENT = 4_096;
+const SOCKET_CHANNEL = 'net.server.socket';
+
+interface Traffic {
+  readonly received: number;
+  readonly sent: number;
+}
+
+/** Collects the connections that this process accepts. */
+const watchSockets = () => {
+  const sockets: Socket[] = [];
+  const collect = (message: unknown): void => {
+    sockets.push((message as { readonly socket: Socket }).socket);
+  };
+  subscribe(SOCKET_CHANNEL, collect);
+  return {
+    countTraffic: (): Traffic => ({
+      received: sockets.reduce((sum, socket) => sum + socket.bytesRead, 0),
+      sent: sockets.reduce((sum, socket) => sum + socket.bytesWritten, 0),
+    }),
+    stop: () => unsubscribe(SOCKET_CHANNEL, collect),
+  };
+};
+
+const createReceiver = () => {
+  const configuration = createConfiguration();
+  const logic = createMembershipLogic({
+    now: () => performance.now(),
+    getDelta: (offset) => decideDelta(configuration, offset),
+  });
+  let { state } = logic.init();
+  const server = createHeartbeatServer((heartbeatId, heartbeat) => {
+    const event = { to: 'membership', kind: 'heartbeat-received', heartbeatId, heartbeat } as const;
+    const step = logic.decide(state, event);
+    state = step.state;
+    for (const effect of step.effects) {
+      if (effect.kind !== 'reply-heartbeat') continue;
+      queueMicrotask(() => {
+        server.replyHeartbeat(effect.heartbeatId, effect.reply);
+      });
+    }
+    return 'queued';
+  });
+  return server;
+};
+
+const performOrder = async (child: ChildProcess, order: SenderOrder): Promise<void> => {
+  const done = once(child, 'message');
+  child.send(order);
+  await done;
+};
+
+const measureCalls = async (endpoints: number) => {
+  const watch = watchSockets();
+  const server = createReceiver();
+  const url = await server.listen('127.0.0.1', 0);
+  const child = fork(fileURLToPath(new URL('./heartbeatSender.js', import.meta.url)), {
+    execArgv: [],
+  });
+  await performOrder(child, { kind: 'connect', endpoints });
+  await performOrder(child, { kind: 'send-rounds', url, rounds: 2 });
+  const rounds = Math.ceil(HEARTBEATS_PER_MEASUREMENT / endpoints);
+  const traffic = watch.countTraffic();
+  const startedAt = getProcessorTime();
+  await performOrder(child, { kind: 'send-rounds', url, rounds });
+  const spent = getProcessorTime() - startedAt;
+  const after = watch.countTraffic();
+  const ended = once(child, 'exit');
+  child.send({ kind: 'close' } satisfies SenderOrder);
+  await ended;
+  await server.close();
+  watch.stop();
+  return {
+    'heartbeat.rpc-time': spent / rounds,
+    'heartbeat.rpc-received': (after.received - traffic.received) / rounds,
+    'heartbeat.rpc-sent': (after.sent - traffic.sent) / rounds,
+  };
+};
+
+/** Rounds of one heartbeat from each endpoint over loopback; only the receiving process is counted. */
+export const HEARTBEAT_CALL_EXPERIMENTS: readonly Experiment[] = [
+  { name: 'heartbeat calls', sizes: [8, 64, 512, 2_048], measure: measureCalls },
+];
--- /dev/null
+++ b/packages/capacity/measures/placement.ts
@@ -0,0 +1,83 @@
+import { measureDuration } from '../sampling/duration.js';
+import type { Experiment } from '../types.js';
+import { createRandomSource } from '../../core/random.js';
+import type { RandomSource } from '../../core/random.js';
+import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
+import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
+import { createOwnTable } from '../../decisions/placement/own.js';
+import type { EndpointView, PlacementRequest } from '../../decisions/placement/types.js';
+import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
+
+const SEED = 11;
+const OBSERVED_LENGTHS = 3_000;
+const OWN_PLACEMENTS = 2_000;
+const DECISIONS_PER_ROUND = 100;
+
+const buildView = (index: number, random: RandomSource): EndpointView => ({
+  endpoint: `worker-${index.toString()}`,
+  incarnation: index.toString(),
+  dataCentre: `dc-${(index % 17).toString()}`,
+  model: 'draft',
+  version: 'v1',
+  phase: 'serving',
+  limit: 300,
+  running: 20 + Math.floor(random.next() * 20),
+  waiting: 0,
+  memoryUsedTokens: 50_000 + random.next() * 40_000,
+  memoryTotalTokens: 100_000,
+  tokensPerSecond: 833,
+  loadAgeMs: random.next() * 500,
+  prefixes: new Set(Array.from({ length: 32 }, () => Math.floor(random.next() * 1_000).toString())),
+  prefixAgeMs: random.next() * 10_000,
+  prefixGaps: 0,
+  preemptions: 0,
+});
+
+const buildRequest = (index: number, random: RandomSource): PlacementRequest => ({
+  requestId: index.toString(),
+  target: { kind: 'model', model: 'draft' },
+  customer: (index % 100).toString(),
+  targets: { className: 'memo', importance: 'standard', answerLength: 'long' },
+  promptTokens: 600,
+  prefix: Math.floor(random.next() * 1_000).toString(),
+  dataCentre: 'dc-0',
+  excluded: new Set(),
+});
+
+const measureDecision = (endpoints: number) => {
+  const random = createRandomSource(SEED);
+  const survival = createSurvivalTable();
+  for (let count = 0; count < OBSERVED_LENGTHS; count += 1) {
+    const key = { className: 'memo', customer: (count % 100).toString(), version: 'v1' };
+    survival.observeFinished(key, Math.floor(-800 * Math.log(1 - random.next())));
+  }
+  const views = Array.from({ length: endpoints }, (_, index) => buildView(index, random));
+  const own = createOwnTable(survival);
+  for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
+    own.trackPlacement({
+      requestId: `own-${index.toString()}`,
+      endpoint: `worker-${(index % endpoints).toString()}`,
+      className: 'memo',
+      customer: (index % 100).toString(),
+      version: 'v1',
+      promptTokens: 600,
+      generated: index % 900,
+      report: index % 10 === 0 ? 'not-included' : 'included',
+      placedAt: 0,
+    });
+  }
+  const requests = Array.from({ length: DECISIONS_PER_ROUND }, (_, index) =>
+    buildRequest(index, random),
+  );
+  const round = measureDuration(() => {
+    for (const request of requests) {
+      choosePlacement(DEFAULT_PLACEMENT_POLICY, request, views, own, survival, random);
+    }
+  });
+  return { 'placement.decision-time': round / DECISIONS_PER_ROUND };
+};
+
+/** One placement decision with 2,000 own placements in flight. */
+export const PLACEMENT_EXPERIMENTS: readonly Experiment[] = [
+  { name: 'placement', sizes: [8, 64, 512, 2_048], measure: measureDecision },
+];
--- /dev/null
+++ b/packages/capacity/runCapacity.ts
@@ -0,0 +1,67 @@
+import { estimateLine } from './fit/estimateLine.js';
+import { MEASURES } from './measures/catalogue.js';
+import { CONFIGURATION_EXPERIMENTS } from './measures/configuration.js';
+import { ENDPOINT_EXPERIMENTS } from './measures/endpoints.js';
+import { FAIRNESS_EXPERIMENTS } from './measures/fairness.js';
+import { HEARTBEAT_CALL_EXPERIMENTS } from './measures/heartbeatCalls.js';
+import { HEARTBEAT_EXPERIMENTS } from './measures/heartbeats.js';
+import { LIST_EXPERIMENTS } from './measures/instanceList.js';
+import { INTENT_EXPERIMENTS } from './measures/intents.js';
+import { PLACEMENT_EXPERIMENTS } from './measures/placement.js';
+import { STREAM_EXPERIMENTS } from './measures/streams.js';
+import { SURVIVAL_EXPERIMENTS } from './measures/survival.js';
+import type { Experiment, MeasureResult, Point, Sample } from './types.js';
+
+/** Memory is measured before the calls over loopback, whose late clean-up would count as state. */
+export const EXPERIMENTS: readonly Experiment[] = [
+  ...SURVIVAL_EXPERIMENTS,
+  ...FAIRNESS_EXPERIMENTS,
+  ...STREAM_EXPERIMENTS,
+  ...INTENT_EXPERIMENTS,
+  ...CONFIGURATION_EXPERIMENTS,
+  ...HEARTBEAT_EXPERIMENTS,
+  ...PLACEMENT_EXPERIMENTS,
+  ...ENDPOINT_EXPERIMENTS,
+  ...LIST_EXPERIMENTS,
+  ...HEARTBEAT_CALL_EXPERIMENTS,
+];
+
+interface SizedSample {
+  readonly size: number;
+  readonly sample: Sample;
+}
+
+/**
+ * Fits a line to each measure of a run.
+ *
+ * @param samples - values by size
+ * @returns one result for each measure that has values, in the order of the catalogue
+ */
+export const toResults = (samples: readonly SizedSample[]): readonly MeasureResult[] =>
+  MEASURES.flatMap(({ name, size: sizeUnit, value: valueUnit }) => {
+    const points = samples.flatMap(({ size, sample }): readonly Point[] => {
+      const value = sample[name];
+      return value === undefined ? [] : [{ size, value }];
+    });
+    if (points.length === 0) return [];
+    return [{ measure: name, sizeUnit, valueUnit, points, line: estimateLine(points) }];
+  });
+
+/**
+ * Runs experiments one after another.
+ *
+ * @param experiments - what to measure
+ * @param notify - called before each experiment with its name
+ * @returns the fitted measures
+ */
+export const runExperiments = async (
+  experiments: readonly Experiment[],
+  notify: (name: string) => void,
+): Promise<readonly MeasureResult[]> => {
+  const samples: SizedSample[] = [];
+  for (const { name, sizes, measure } of experiments) {
+    notify(name);
+    for (const size of sizes) samples.push({ size, sample: await measure(size) });
+  }
+  return toResults(samples);
+};
--- /dev/null
+++ b/packages/capacity/sampling/duration.ts
@@ -0,0 +1,51 @@
+import { MAX_TIMED_MS, MIN_ROUND_MS, MIN_ROUNDS, TIMED_ROUNDS, WARM_UP_MS } from '../constants.js';
+
+const computeMedian = (values: readonly number[]): number => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+};
+
+/**
+ * Returns the processor time of this process so far, with its compiler and collector threads.
+ * Unlike the clock, it leaves out the time in which other processes had the core.
+ *
+ * @returns microseconds
+ */
+export const getProcessorTime = (): number => {
+  const { user, system } = process.cpuUsage();
+  return user + system;
+};
+
+const measureRound = (work: () => void, repeats: number): number => {
+  const startedAt = getProcessorTime();
+  for (let repeat = 0; repeat < repeats; repeat += 1) work();
+  return (getProcessorTime() - startedAt) / repeats;
+};
+
+const runWarmUp = (work: () => void): number => {
+  const startedAt = performance.now();
+  let rounds = 0;
+  while (rounds < MIN_ROUNDS || performance.now() - startedAt < WARM_UP_MS) {
+    work();
+    rounds += 1;
+  }
+  return (performance.now() - startedAt) / rounds;
+};
+
+/**
+ * Measures how much processor time a piece of work takes.
+ *
+ * @param work - work to repeat; its effects on the state must not make later rounds cheaper
+ * @returns median of the rounds in microseconds
+ */
+export const measureDuration = (work: () => void): number => {
+  const repeats = Math.max(1, Math.ceil(MIN_ROUND_MS / runWarmUp(work)));
+  const startedAt = performance.now();
+  const rounds: number[] = [];
+  while (rounds.length < TIMED_ROUNDS) {
+    rounds.push(measureRound(work, repeats));
+    const isLate = performance.now() - startedAt > MAX_TIMED_MS;
+    if (isLate && rounds.length >= MIN_ROUNDS) break;
+  }
+  return computeMedian(rounds);
+};
