Measure whole daemons, evidence, log reads and ended moves

The first bench measured only modules, so the cost of a token through the daemons, their memory and their cost at rest were unknown. The part `streams` runs streams through a cluster of processes, and `rest` watches daemons without work.

--- a/packages/capacity/capacity.bench.ts
+++ b/packages/capacity/capacity.bench.ts
@@ -1,10 +1,14 @@
-/** Measures how state, messages, time and memory grow with the sizes of docs/CAPACITY.md. */
+/**
+ * Measures how state, messages, time and memory grow with the sizes of docs/CAPACITY.md. An argument
+ * names the part to run: `modules`, `streams` or `rest`; without one, all run.
+ */
 import { execFileSync } from 'node:child_process';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { cpus, totalmem } from 'node:os';
 import { RESULTS_DIRECTORY } from './constants.js';
 import { formatTable } from './formatTable.js';
-import { EXPERIMENTS, runExperiments } from './runCapacity.js';
+import { listExperiments, PARTS, runExperiments } from './runCapacity.js';
+import type { Part } from './runCapacity.js';
 import type { RunOrigin } from './types.js';
 
 const readCommit = (): string =>
@@ -21,13 +25,22 @@
   node: process.version,
 });
 
+const readParts = (): readonly Part[] => {
+  const [wanted] = process.argv.slice(2);
+  if (wanted === undefined) return PARTS;
+  const part = PARTS.find((known) => known === wanted);
+  if (part === undefined) throw new Error(`unknown part ${wanted}; known: ${PARTS.join(', ')}`);
+  return [part];
+};
+
+const parts = readParts();
 const origin = describeOrigin();
-const results = await runExperiments(EXPERIMENTS, (name) => {
+const results = await runExperiments(parts.flatMap(listExperiments), (name) => {
   console.error(`measuring: ${name}`);
 });
 mkdirSync(RESULTS_DIRECTORY, { recursive: true });
 const stamp = origin.startedAt.replaceAll(/[:.]/g, '-');
-const path = `${RESULTS_DIRECTORY}/capacity-${stamp}.json`;
-writeFileSync(path, `${JSON.stringify({ bench: 'capacity', origin, results }, null, 2)}\n`);
+const path = `${RESULTS_DIRECTORY}/capacity-${parts.join('-')}-${stamp}.json`;
+writeFileSync(path, `${JSON.stringify({ bench: 'capacity', parts, origin, results }, null, 2)}\n`);
 console.log(formatTable(results));
 console.log(`\n${JSON.stringify(origin)}\nwritten to ${path}`);
--- a/packages/capacity/capacity.test.ts
+++ b/packages/capacity/capacity.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { MEASURES } from './measures/catalogue.js';
 import type { MeasureName } from './measures/catalogue.js';
-import { EXPERIMENTS, runExperiments, toResults } from './runCapacity.js';
+import { listExperiments, PARTS, runExperiments, toResults } from './runCapacity.js';
 
 const PAGE = new URL('../../../docs/CAPACITY.md', import.meta.url);
 const SLOPES = /<!-- slopes -->([\s\S]*?)<!-- \/slopes -->/;
@@ -34,7 +34,8 @@
 
 // Guards against a line through two points, whose residual is always nil.
 test('every experiment measures at three sizes or more', (t) => {
-  for (const { name, sizes } of EXPERIMENTS) t.true(new Set(sizes).size >= 3, name);
+  for (const { name, sizes } of PARTS.flatMap(listExperiments))
+    t.true(new Set(sizes).size >= 3, name);
 });
 
 // Guards against a measure of the list that no experiment takes, or that a fit mixes with another one.
--- a/packages/capacity/measures/catalogue.ts
+++ b/packages/capacity/measures/catalogue.ts
@@ -36,8 +36,19 @@
   { name: 'endpoint.poll-time', size: 'sequences', value: 'µs' },
   { name: 'endpoint.sweep-time', size: 'sequences', value: 'µs' },
   { name: 'endpoint.admit-time', size: 'sequences', value: 'µs' },
+  { name: 'moves.evidence-state', size: 'endpoints', value: 'bytes' },
+  { name: 'moves.evidence-time', size: 'endpoints', value: 'µs' },
+  { name: 'moves.configuration-time', size: 'ended moves', value: 'µs for a move' },
   { name: 'list.answer', size: 'instances', value: 'bytes' },
   { name: 'list.read-time', size: 'instances', value: 'µs' },
+  { name: 'log.read', size: 'records', value: 'bytes' },
+  { name: 'log.read-time', size: 'records', value: 'µs' },
+  { name: 'entry.stream-time', size: 'tokens of a stream', value: 'µs' },
+  { name: 'entry.resident', size: 'streams', value: 'bytes' },
+  { name: 'entry.idle-time', size: 'endpoints', value: 'µs in a second' },
+  { name: 'endpoint.stream-time', size: 'tokens of a stream', value: 'µs' },
+  { name: 'endpoint.resident', size: 'streams', value: 'bytes' },
+  { name: 'endpoint.idle-time', size: 'heartbeat targets', value: 'µs in a second' },
 ] as const;
 
 export type MeasureName = (typeof MEASURES)[number]['name'];
--- /dev/null
+++ b/packages/capacity/measures/daemons.ts
@@ -0,0 +1,194 @@
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { readProcessorTime, readResidentBytes } from '../sampling/processes.js';
+import type { Experiment } from '../types.js';
+import { startCluster } from '../../cluster/startCluster.js';
+import type { Cluster, ClusterOptions } from '../../cluster/types.js';
+
+/** Streams at once while the cost of a token is measured. */
+const STREAMS = 64;
+
+/** Engines that carry the streams of one entry daemon. */
+const ENGINES = 4;
+
+const END_MARK = 'data: [DONE]\n\n';
+
+/** Drain of the daemons; nothing is measured after their streams. */
+const DRAIN_MS = 500;
+
+/** Time in which daemons without work are watched; their timers have periods below a second. */
+const IDLE_MS = 6_000;
+
+/** Time after the start in which code is compiled and connections are opened. */
+const SETTLE_MS = 3_000;
+
+/** Tokens of the streams before the measured ones. */
+const WARM_UP_TOKENS = 60;
+
+/** Tokens of streams that must last as long as memory is looked at. */
+const LONG_TOKENS = 1_000;
+
+/** An engine that never is the bottleneck; its sequences get a token every 50 ms or a little more. */
+const ENGINE = {
+  memoryTokens: 50_000_000,
+  warmUpMs: 0,
+  stepBaseMs: 50,
+  maxRunning: 2_048,
+  coldConcurrency: 2_048,
+  warmConcurrency: 2_048,
+} as const;
+
+const runCluster = async <Value>(
+  options: ClusterOptions,
+  work: (cluster: Cluster) => Promise<Value>,
+): Promise<Value> => {
+  const cluster = await startCluster({
+    dataCentres: ['dc-1'],
+    ledgers: 0,
+    drainMs: DRAIN_MS,
+    admission: { startLimit: 2_048, maxLimit: 2_048 },
+    ...options,
+  });
+  try {
+    return await work(cluster);
+  } finally {
+    await cluster.stop();
+  }
+};
+
+/** A stream whose tokens are thrown away, so that the caller costs little beside the daemons. */
+interface OpenStream {
+  readonly ended: Promise<'done' | 'cut'>;
+  readonly leave: () => void;
+}
+
+const readStream = async (body: Dispatcher.ResponseData['body']): Promise<'done' | 'cut'> => {
+  let tail = '';
+  try {
+    for await (const bytes of body) tail = (tail + String(bytes)).slice(-END_MARK.length);
+  } catch {
+    return 'cut';
+  }
+  return tail === END_MARK ? 'done' : 'cut';
+};
+
+/** Resolves with the first token, so that an endpoint daemon admits streams one after another. */
+const openOne = async (cluster: Cluster, tokens: number, index: number): Promise<OpenStream> => {
+  const key = Object.values(cluster.customerKeys)[0] ?? '';
+  const content = `Draft memo ${index.toString()} on the cash position of the group.`;
+  const { statusCode, body } = await request(`${cluster.entryUrls[0] ?? ''}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: cluster.model,
+      stream: true,
+      messages: [{ role: 'user', content }],
+      metadata: { target_tokens: tokens.toString() },
+    }),
+    reset: true,
+  });
+  if (statusCode !== 200) throw new Error(await body.text());
+  await once(body, 'readable');
+  return { ended: readStream(body), leave: () => body.destroy() };
+};
+
+const listPids = (cluster: Cluster, role: 'entry' | 'endpoint'): readonly number[] =>
+  cluster.processes.filter((process) => process.role === role).map(({ pid }) => pid);
+
+const openStreams = async (
+  cluster: Cluster,
+  streams: number,
+  tokens: number,
+): Promise<readonly OpenStream[]> => {
+  const opened: OpenStream[] = [];
+  const rest = Array.from({ length: streams }, (_, index) => index).values();
+  const run = async (): Promise<void> => {
+    for (const index of rest) opened.push(await openOne(cluster, tokens, index));
+  };
+  await Promise.all(listPids(cluster, 'endpoint').map(run));
+  return opened;
+};
+
+const runStreams = async (cluster: Cluster, tokens: number): Promise<void> => {
+  const streams = await openStreams(cluster, STREAMS, tokens);
+  const ends = await Promise.all(streams.map(({ ended }) => ended));
+  if (ends.includes('cut')) throw new Error('a stream was cut');
+};
+
+const countProcessorTime = (pids: readonly number[]): number =>
+  pids.reduce((sum, pid) => sum + readProcessorTime(pid), 0);
+
+const buildEngines = (count: number) => Array.from({ length: count }, () => ({ standin: ENGINE }));
+
+const measureTokens = (tokens: number) =>
+  runCluster({ entryDaemons: 1, engines: buildEngines(ENGINES) }, async (cluster) => {
+    const entries = listPids(cluster, 'entry');
+    const endpoints = listPids(cluster, 'endpoint');
+    await runStreams(cluster, WARM_UP_TOKENS);
+    const entryBefore = countProcessorTime(entries);
+    const endpointBefore = countProcessorTime(endpoints);
+    await runStreams(cluster, tokens);
+    return {
+      'entry.stream-time': (countProcessorTime(entries) - entryBefore) / STREAMS,
+      'endpoint.stream-time': (countProcessorTime(endpoints) - endpointBefore) / STREAMS,
+    };
+  });
+
+const measureResident = async (
+  role: 'entry' | 'endpoint',
+  engines: number,
+  streams: number,
+): Promise<number> =>
+  runCluster({ entryDaemons: 1, engines: buildEngines(engines) }, async (cluster) => {
+    const opened = await openStreams(cluster, streams, LONG_TOKENS);
+    const [pid] = listPids(cluster, role);
+    const bytes = readResidentBytes(pid ?? 0);
+    for (const { leave } of opened) leave();
+    return bytes;
+  });
+
+/** Processor time for one second without work. */
+const measureIdle = async (pid: number): Promise<number> => {
+  await sleep(SETTLE_MS);
+  const before = readProcessorTime(pid);
+  const startedAt = performance.now();
+  await sleep(IDLE_MS);
+  return ((readProcessorTime(pid) - before) * 1_000) / (performance.now() - startedAt);
+};
+
+const measureIdleEntry = (endpoints: number) =>
+  runCluster({ entryDaemons: 1, engines: buildEngines(endpoints) }, async (cluster) => ({
+    'entry.idle-time': await measureIdle(listPids(cluster, 'entry')[0] ?? 0),
+  }));
+
+const measureIdleEndpoint = (entryDaemons: number) =>
+  runCluster({ entryDaemons, engines: buildEngines(1) }, async (cluster) => ({
+    'endpoint.idle-time': await measureIdle(listPids(cluster, 'endpoint')[0] ?? 0),
+  }));
+
+/** Streams through whole daemons, with stand-ins of engine and platform beside them. */
+export const DAEMON_STREAM_EXPERIMENTS: readonly Experiment[] = [
+  { name: 'tokens through both daemons', sizes: [20, 80, 240], measure: measureTokens },
+  {
+    name: 'memory of the entry daemon',
+    sizes: [32, 128, 256],
+    measure: async (streams) => ({
+      'entry.resident': await measureResident('entry', ENGINES, streams),
+    }),
+  },
+];
+
+/** Whole daemons with little or no work. */
+export const DAEMON_REST_EXPERIMENTS: readonly Experiment[] = [
+  {
+    name: 'memory of the endpoint daemon',
+    sizes: [8, 24, 48],
+    measure: async (streams) => ({
+      'endpoint.resident': await measureResident('endpoint', 1, streams),
+    }),
+  },
+  { name: 'entry daemon without work', sizes: [1, 4, 12], measure: measureIdleEntry },
+  { name: 'endpoint daemon without work', sizes: [1, 2, 4], measure: measureIdleEndpoint },
+];
--- a/packages/capacity/measures/instanceList.ts
+++ b/packages/capacity/measures/instanceList.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import { startOnLoopback } from './loopback.js';
 import { getProcessorTime } from '../sampling/duration.js';
 import type { Experiment } from '../types.js';
 import { createListClient } from '../../platform/client/listClient.js';
@@ -21,16 +21,6 @@
   return role === 'entry' ? base : { ...base, model: 'draft', version: 'v2026-12-01' };
 };
 
-const startServer = (server: Server): Promise<string> =>
-  new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      const port = typeof address === 'object' && address !== null ? address.port : 0;
-      resolve(`http://127.0.0.1:${port.toString()}`);
-    });
-  });
-
 const measureReads = async (baseUrl: string, expected: number): Promise<number> => {
   const client = createListClient({ baseUrl, timeoutMs: 10_000 });
   const read = async (): Promise<void> => {
@@ -53,7 +43,7 @@
   const server = createServer((_, response) => {
     response.writeHead(200, { 'content-type': 'application/json' }).end(body);
   });
-  const readTime = await measureReads(await startServer(server), instances);
+  const readTime = await measureReads(await startOnLoopback(server), instances);
   await new Promise((resolve) => server.close(resolve));
   return { 'list.answer': body.length, 'list.read-time': readTime };
 };
--- a/packages/capacity/measures/intents.ts
+++ b/packages/capacity/measures/intents.ts
@@ -39,6 +39,17 @@
   ];
 };
 
+/**
+ * Builds the records of keys that run once without trouble.
+ *
+ * @param chains - number of keys
+ * @returns records as JSON, two for each key
+ */
+export const buildIntentLines = (chains: number): readonly string[] =>
+  Array.from({ length: chains }, (_, index) => buildChain(index))
+    .flat()
+    .map((record) => JSON.stringify(record));
+
 /** Reads and folds a whole stream, as the child `intents` does with the pages of the log. */
 const foldStream = (lines: readonly string[]): IntentTable => {
   const table = createIntentTable(DEFAULT_KEY_SETTINGS);
@@ -54,9 +65,7 @@
 };
 
 const measureChains = (chains: number) => {
-  const lines = Array.from({ length: chains }, (_, index) => buildChain(index))
-    .flat()
-    .map((record) => JSON.stringify(record));
+  const lines = buildIntentLines(chains);
   const { bytes, state } = measureMemory(() => foldStream(lines));
   const carried = planCarryForward(state, {
     firstOffset: 0,
--- /dev/null
+++ b/packages/capacity/measures/moves.ts
@@ -0,0 +1,80 @@
+import { buildHeartbeat } from './heartbeats.js';
+import { getProcessorTime, measureDuration } from '../sampling/duration.js';
+import { measureMemory } from '../sampling/memory.js';
+import type { Experiment } from '../types.js';
+import type { MoveView } from '../../decisions/configuration/types.js';
+import { createMovesLogic } from '../../entry/moves/moves.js';
+import type { MovesState } from '../../entry/moves/moves.js';
+import type { ReceivedHeartbeat } from '../../entry/types.js';
+
+const NOW = 1_800_000_000_000;
+const HOUR_MS = 3_600_000;
+
+const buildMove = (index: number, standing: 'running' | 'ended'): MoveView => ({
+  name: `move-${index.toString()}`,
+  model: 'draft',
+  from: 'v1',
+  to: 'v2',
+  startedAt: NOW - HOUR_MS,
+  deadline: NOW + HOUR_MS,
+  offset: index * 2,
+  ended:
+    standing === 'running' ? null : { outcome: 'done', reason: 'complete', offset: index * 2 + 1 },
+});
+
+const createLogic = (moves: readonly MoveView[]) =>
+  createMovesLogic({
+    now: () => NOW,
+    createId: () => 'nonce',
+    process: 'entry-000',
+    listMoves: () => moves,
+  });
+
+type Logic = ReturnType<typeof createLogic>;
+
+const startMoves = (logic: Logic): MovesState =>
+  logic.decide(logic.init().state, { to: 'moves', kind: 'configuration-updated' }).state;
+
+/** Counters that differ from the last ones, as those of an endpoint at work do. */
+const addAnswers = (heartbeat: ReceivedHeartbeat, answers: number): ReceivedHeartbeat => ({
+  ...heartbeat,
+  evidence: heartbeat.evidence.map((row) => ({ ...row, successes: row.successes + answers })),
+});
+
+const measureEvidence = (endpoints: number) => {
+  const logic = createLogic([buildMove(0, 'running')]);
+  const heartbeats = Array.from({ length: endpoints }, (_, index) => ({
+    ...buildHeartbeat(index),
+    version: index % 2 === 0 ? 'v1' : 'v2',
+  }));
+  let answers = 0;
+  const receive = (state: MovesState): MovesState => {
+    answers += 1;
+    return heartbeats.reduce((current, heartbeat) => {
+      const event = { to: 'moves', kind: 'evidence-received' } as const;
+      return logic.decide(current, { ...event, heartbeat: addAnswers(heartbeat, answers) }).state;
+    }, state);
+  };
+  const built = measureMemory(() => receive(startMoves(logic)));
+  let { state } = built;
+  const round = measureDuration(() => {
+    state = receive(state);
+  });
+  return { 'moves.evidence-state': built.bytes, 'moves.evidence-time': round };
+};
+
+/** Time for one ended move at one change of the configuration. */
+const measureEnded = (moves: number) => {
+  const logic = createLogic(Array.from({ length: moves }, (_, index) => buildMove(index, 'ended')));
+  let state = startMoves(logic);
+  const startedAt = getProcessorTime();
+  state = logic.decide(state, { to: 'moves', kind: 'configuration-updated' }).state;
+  if (state.moves.size !== moves) throw new Error('a move is missing');
+  return { 'moves.configuration-time': (getProcessorTime() - startedAt) / moves };
+};
+
+/** Evidence of one running move, and moves that have ended. */
+export const MOVE_EXPERIMENTS: readonly Experiment[] = [
+  { name: 'evidence of a move', sizes: [8, 64, 512, 2_048], measure: measureEvidence },
+  { name: 'ended moves', sizes: [64, 256, 1_024], measure: measureEnded },
+];
--- a/packages/capacity/runCapacity.ts
+++ b/packages/capacity/runCapacity.ts
@@ -1,31 +1,62 @@
 import { estimateLine } from './fit/estimateLine.js';
 import { MEASURES } from './measures/catalogue.js';
 import { CONFIGURATION_EXPERIMENTS } from './measures/configuration.js';
+import { DAEMON_REST_EXPERIMENTS, DAEMON_STREAM_EXPERIMENTS } from './measures/daemons.js';
 import { ENDPOINT_EXPERIMENTS } from './measures/endpoints.js';
 import { FAIRNESS_EXPERIMENTS } from './measures/fairness.js';
 import { HEARTBEAT_CALL_EXPERIMENTS } from './measures/heartbeatCalls.js';
 import { HEARTBEAT_EXPERIMENTS } from './measures/heartbeats.js';
 import { LIST_EXPERIMENTS } from './measures/instanceList.js';
 import { INTENT_EXPERIMENTS } from './measures/intents.js';
+import { LOG_EXPERIMENTS } from './measures/logReads.js';
+import { MOVE_EXPERIMENTS } from './measures/moves.js';
 import { PLACEMENT_EXPERIMENTS } from './measures/placement.js';
 import { STREAM_EXPERIMENTS } from './measures/streams.js';
 import { SURVIVAL_EXPERIMENTS } from './measures/survival.js';
 import type { Experiment, MeasureResult, Point, Sample } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+
+/** `modules` runs in this process; the other parts start clusters of processes. */
+export type Part = 'modules' | 'streams' | 'rest';
 
 /** Memory is measured before the calls over loopback, whose late clean-up would count as state. */
-export const EXPERIMENTS: readonly Experiment[] = [
+const MODULE_EXPERIMENTS: readonly Experiment[] = [
   ...SURVIVAL_EXPERIMENTS,
   ...FAIRNESS_EXPERIMENTS,
   ...STREAM_EXPERIMENTS,
   ...INTENT_EXPERIMENTS,
   ...CONFIGURATION_EXPERIMENTS,
   ...HEARTBEAT_EXPERIMENTS,
+  ...MOVE_EXPERIMENTS,
   ...PLACEMENT_EXPERIMENTS,
   ...ENDPOINT_EXPERIMENTS,
   ...LIST_EXPERIMENTS,
+  ...LOG_EXPERIMENTS,
   ...HEARTBEAT_CALL_EXPERIMENTS,
 ];
 
+/** Parts of the bench in the order in which they run. */
+export const PARTS: readonly Part[] = ['modules', 'streams', 'rest'];
+
+/**
+ * Lists the experiments of one part of the bench.
+ *
+ * @param part - part to run
+ * @returns its experiments in order
+ */
+export const listExperiments = (part: Part): readonly Experiment[] => {
+  switch (part) {
+    case 'modules':
+      return MODULE_EXPERIMENTS;
+    case 'streams':
+      return DAEMON_STREAM_EXPERIMENTS;
+    case 'rest':
+      return DAEMON_REST_EXPERIMENTS;
+    default:
+      return assertNever(part);
+  }
+};
+
 interface SizedSample {
   readonly size: number;
   readonly sample: Sample;
