Load the parts of a command when it runs and leave out an empty reason of a move

Cause: each start of the command line imported the daemons, the demo and the load tool with its plots, since the commands are looked up by their modules. `move status` printed "moving: ," for a move without a reason. Change: load, demo, run and standin commands import what they need when they run; an empty reason is left out, with a test.

--- a/app/commands/demo.ts
+++ b/app/commands/demo.ts
@@ -1,5 +1,4 @@
 import { Command, Flags } from '@oclif/core';
-import { serveDemo, runDemo } from '../demo/runDemo.js';
 import { JSON_FLAG, PORT_FLAG } from '../flags.js';
 import { printOutcome } from '../output.js';
 
@@ -15,6 +14,7 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(Demo);
+    const { runDemo, serveDemo } = await import('../demo/runDemo.js');
     if (flags.keep) await serveDemo(flags.port, flags.json ? 'json' : 'text');
     else printOutcome(await runDemo(flags.port), flags.json);
   }
--- a/app/commands/load.ts
+++ b/app/commands/load.ts
@@ -1,6 +1,5 @@
 import { Args, Command, Flags } from '@oclif/core';
 import { JSON_FLAG } from '../flags.js';
-import { runScenario } from '../loadOutcome.js';
 import { printOutcome } from '../output.js';
 
 export default class Load extends Command {
@@ -21,6 +20,7 @@
   async run(): Promise<void> {
     const { args, flags } = await this.parse(Load);
     const { seed, policy, output, json } = flags;
+    const { runScenario } = await import('../loadOutcome.js');
     const changes = { seed, policy, durationMs: flags['duration-ms'] };
     printOutcome(await runScenario(args.scenario, changes, output), json);
   }
--- a/app/commands/run/endpoint.ts
+++ b/app/commands/run/endpoint.ts
@@ -1,7 +1,6 @@
 import { Args, Command } from '@oclif/core';
 import { SERVING_FLAGS } from '../../flags.js';
 import { runDaemon } from '../../runDaemon.js';
-import { startEndpointDaemon } from '../../../packages/endpoint/main.js';
 
 export default class RunEndpoint extends Command {
   static override summary = 'Run an endpoint daemon until SIGINT or SIGTERM.';
@@ -12,6 +11,7 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(RunEndpoint);
+    const { startEndpointDaemon } = await import('../../../packages/endpoint/main.js');
     await runDaemon('endpoint', args.file, startEndpointDaemon, flags);
   }
 }
--- a/app/commands/run/entry.ts
+++ b/app/commands/run/entry.ts
@@ -1,7 +1,6 @@
 import { Args, Command } from '@oclif/core';
 import { SERVING_FLAGS } from '../../flags.js';
 import { runDaemon } from '../../runDaemon.js';
-import { startEntryDaemon } from '../../../packages/entry/main.js';
 
 export default class RunEntry extends Command {
   static override summary = 'Run an entry daemon until SIGINT or SIGTERM.';
@@ -12,6 +11,7 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(RunEntry);
+    const { startEntryDaemon } = await import('../../../packages/entry/main.js');
     await runDaemon('entry', args.file, startEntryDaemon, flags);
   }
 }
--- a/app/commands/standin/engine.ts
+++ b/app/commands/standin/engine.ts
@@ -2,7 +2,6 @@
 import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
 import { selectPresent } from '../../optionalFields.js';
 import { serveUntilSignal } from '../../serving.js';
-import { startEngineStandin } from '../../../packages/standins/engine/startEngineStandin.js';
 import type { EngineOptions } from '../../../packages/standins/engine/types.js';
 
 /** Start options that are whole numbers, by flag, with the smallest value. */
@@ -51,6 +50,8 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(StandinEngine);
     const { port, model, version, fencing, seed } = flags;
+    const { startEngineStandin } =
+      await import('../../../packages/standins/engine/startEngineStandin.js');
     const standin = await startEngineStandin({
       port,
       ...selectPresent({ model, version, fencing, seed }),
--- a/app/commands/standin/platform.ts
+++ b/app/commands/standin/platform.ts
@@ -2,7 +2,6 @@
 import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
 import { selectPresent } from '../../optionalFields.js';
 import { serveUntilSignal } from '../../serving.js';
-import { startPlatformStandin } from '../../../packages/standins/platform/startPlatformStandin.js';
 
 export default class StandinPlatform extends Command {
   static override summary =
@@ -17,6 +16,8 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(StandinPlatform);
+    const { startPlatformStandin } =
+      await import('../../../packages/standins/platform/startPlatformStandin.js');
     const standin = await startPlatformStandin({
       port: flags.port,
       ...selectPresent({
--- a/app/commands/standin/service.ts
+++ b/app/commands/standin/service.ts
@@ -1,7 +1,6 @@
 import { Command, Flags } from '@oclif/core';
 import { PORT_FLAG, SERVING_FLAGS } from '../../flags.js';
 import { serveUntilSignal } from '../../serving.js';
-import { startLedgerStandin } from '../../../packages/standins/ledger/startLedgerStandin.js';
 
 export default class StandinService extends Command {
   static override summary = 'Run the stand-in of a plain service until SIGINT or SIGTERM.';
@@ -20,6 +19,8 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(StandinService);
     const callMs = flags['call-ms'];
+    const { startLedgerStandin } =
+      await import('../../../packages/standins/ledger/startLedgerStandin.js');
     const standin = await startLedgerStandin({
       port: flags.port,
       inspectionPort: flags['inspection-port'],
--- a/app/operatorOutcomes.ts
+++ b/app/operatorOutcomes.ts
@@ -179,7 +179,7 @@
 
 const formatMove = (move: MoveRow): string => {
   const share = `${(move.share * 100).toFixed(1)}%`;
-  const reason = move.reason === undefined ? '' : `: ${move.reason}`;
+  const reason = move.reason === undefined || move.reason === '' ? '' : `: ${move.reason}`;
   return `${move.name} ${move.model} ${move.from} -> ${move.to} ${share} ${move.state}${reason}, deadline ${formatTime(move.deadline)}`;
 };
 
--- a/app/remote.test.ts
+++ b/app/remote.test.ts
@@ -37,7 +37,16 @@
   }));
   app.get('/operator/moves', () => ({
     moves: [
-      { name: 'm', model: 'x', from: 'v1', to: 'v2', deadline: 0, share: 0.05, state: 'running' },
+      {
+        name: 'm',
+        model: 'x',
+        from: 'v1',
+        to: 'v2',
+        deadline: 0,
+        share: 0.05,
+        state: 'moving',
+        reason: '',
+      },
     ],
   }));
   app.post<{ Querystring: { dryRun: string }; Body: Posted['body'] }>(
@@ -106,7 +115,7 @@
   const { deadline, startedAt } = record?.body as { deadline: number; startedAt: number };
   t.is(deadline - startedAt, 60_000);
   const listed = await runOperator(inForce, 'move', 'list');
-  t.regex(listed.stdout, /^m x v1 -> v2 5\.0% running/);
+  t.regex(listed.stdout, /^m x v1 -> v2 5\.0% moving, deadline/);
   t.is((await runOperator(inForce, 'move', 'status', 'other')).code, 64);
 });
 
