Measure the request path and placement decisions with committed benches

Daemons show their memory and processor time on /metrics, and a cluster can write processor profiles of its processes.

--- /dev/null
+++ b/packages/bench/client/eventCounter.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { createEventCounter } from './eventCounter.js';
+
+// Guards against tokens that are lost or counted twice where the network cuts a stream.
+test('events are counted once wherever the stream is cut', (t) => {
+  const stream = Buffer.from(
+    'id: a.0\ndata: {"n":0}\n\ndata: {"n":1}\n\ndata: {"n":2}\n\ndata: [DONE]\n\n',
+  );
+  const cuts = fc.array(fc.integer({ min: 0, max: stream.length }), { maxLength: 12 });
+  fc.assert(
+    fc.property(cuts, (places) => {
+      const counter = createEventCounter();
+      const bounds = [0, ...places.sort((left, right) => left - right), stream.length];
+      const counted = bounds
+        .slice(1)
+        .map((end, index) => counter.count(stream.subarray(bounds[index], end)))
+        .reduce((left, right) => left + right, 0);
+      return counted === 4 && counter.hasEndMark();
+    }),
+    { seed: 11, numRuns: 2_000 },
+  );
+  t.pass();
+});
+
+// Guards against a broken answer that passes for a whole one.
+test('a stream without its end mark is told apart', (t) => {
+  const counter = createEventCounter();
+  counter.count(Buffer.from('data: {"n":0}\n\nevent: error\ndata: {}\n\n'));
+  t.false(counter.hasEndMark());
+});
--- /dev/null
+++ b/packages/bench/client/loopDelay.ts
@@ -0,0 +1,43 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { LOOP_DELAY_RESOLUTION_MS } from '../constants.js';
+import type { Millis } from '../../core/clock.js';
+
+const NANOS_PER_MILLI = 1_000_000;
+
+/** How late the event loop of the client ran, beyond the resolution of the measurement. */
+export interface LoopDelay {
+  readonly p50: Millis;
+  readonly p99: Millis;
+  readonly max: Millis;
+}
+
+/** Measures the delay of this process's event loop. */
+export interface LoopDelayWatch {
+  readonly begin: () => void;
+  readonly end: () => LoopDelay;
+}
+
+/**
+ * Creates the watch of the client's event loop.
+ *
+ * @returns the watch, not running
+ */
+export const createLoopDelayWatch = (): LoopDelayWatch => {
+  const histogram = monitorEventLoopDelay({ resolution: LOOP_DELAY_RESOLUTION_MS });
+  const toDelay = (nanos: number): Millis =>
+    Math.max(0, nanos / NANOS_PER_MILLI - LOOP_DELAY_RESOLUTION_MS);
+  return {
+    begin: () => {
+      histogram.reset();
+      histogram.enable();
+    },
+    end: () => {
+      histogram.disable();
+      return {
+        p50: toDelay(histogram.percentile(50)),
+        p99: toDelay(histogram.percentile(99)),
+        max: toDelay(histogram.max),
+      };
+    },
+  };
+};
--- /dev/null
+++ b/packages/bench/client/streamClient.ts
@@ -0,0 +1,94 @@
+import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createEventCounter } from './eventCounter.js';
+import type { CallerId, CallersEvent, StreamEnd } from '../types.js';
+import type { Millis } from '../../core/clock.js';
+
+/** Where the callers of a run send their requests. */
+export interface StreamTarget {
+  /** Callers take the origins in turn. */
+  readonly origins: readonly string[];
+  readonly headers: Readonly<Record<string, string>>;
+  readonly buildBody: (caller: CallerId) => string;
+}
+
+export interface StreamClient {
+  readonly open: (caller: CallerId) => void;
+  /** Breaks the streams that are still open. */
+  readonly close: () => Promise<void>;
+}
+
+const PATH = '/v1/chat/completions';
+
+const KEPT_TEXT = 300;
+
+/**
+ * Builds the receiver of one answer. It takes the instant first and decodes nothing.
+ */
+const buildHandler = (
+  caller: CallerId,
+  now: () => Millis,
+  post: (event: CallersEvent) => void,
+): Dispatcher.DispatchHandler => {
+  const counter = createEventCounter();
+  let status = 0;
+  let text = '';
+  const end = (result: StreamEnd): void => {
+    post({ kind: 'stream-ended', caller, end: result });
+  };
+  return {
+    onRequestStart: () => undefined,
+    onResponseStart: (_controller, statusCode) => {
+      status = statusCode;
+    },
+    onResponseData: (_controller, bytes) => {
+      const at = now();
+      if (status !== 200) {
+        text = `${text}${bytes.toString('utf8')}`.slice(0, KEPT_TEXT);
+        return;
+      }
+      const count = counter.count(bytes);
+      if (count > 0) post({ kind: 'events-arrived', caller, count, at });
+    },
+    onResponseEnd: () => {
+      if (status !== 200) end({ kind: 'failed', reason: `status ${status.toString()}: ${text}` });
+      else if (counter.hasEndMark()) end({ kind: 'whole' });
+      else end({ kind: 'failed', reason: 'the stream ended without its end mark' });
+    },
+    onResponseError: (_controller, error) => {
+      end({ kind: 'failed', reason: error.message });
+    },
+  };
+};
+
+/**
+ * Creates the adapter that sends the requests of the callers, each on a connection of its own.
+ *
+ * @param target - addresses, headers and bodies
+ * @param now - clock of the run
+ * @param post - receives arrivals and ends
+ * @returns the adapter
+ */
+export const createStreamClient = (
+  target: StreamTarget,
+  now: () => Millis,
+  post: (event: CallersEvent) => void,
+): StreamClient => {
+  const agent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  const { origins, headers, buildBody } = target;
+  return {
+    open: (caller) => {
+      agent.dispatch(
+        {
+          origin: origins[caller % origins.length] ?? '',
+          path: PATH,
+          method: 'POST',
+          headers: { 'content-type': 'application/json', ...headers },
+          body: buildBody(caller),
+        },
+        buildHandler(caller, now, post),
+      );
+    },
+    close: () => agent.destroy(),
+  };
+};
--- /dev/null
+++ b/packages/bench/measureLatency.ts
@@ -0,0 +1,155 @@
+import { mergeRecorders } from './callers/latencies.js';
+import type { Percentiles } from './callers/latencies.js';
+import type { LoopDelay } from './client/loopDelay.js';
+import { buildLatencyCluster, buildTarget, listSampledUrls } from './clusters.js';
+import { runCallers } from './runCallers.js';
+import type { RunResult, StageResult } from './runCallers.js';
+import { computeCores } from './samples/usage.js';
+import type { Route, RunPlan } from './types.js';
+import { startCluster } from '../cluster/startCluster.js';
+import type { Cluster } from '../cluster/types.js';
+import type { Millis } from '../core/clock.js';
+
+/** Order of the rounds of one block; its symmetry cancels a drift of the machine. */
+const BLOCK: readonly Route[] = ['direct', 'path', 'path', 'direct'];
+
+export const LATENCY_STREAMS = 200;
+const ANSWER_TOKENS = 64;
+const STEP_MS = 30;
+
+const PLAN: RunPlan = {
+  // The ramp is as long as an answer, so that requests arrive evenly.
+  stages: [
+    { callers: LATENCY_STREAMS, rampMs: ANSWER_TOKENS * STEP_MS, settleMs: 500, measureMs: 8_000 },
+  ],
+  tokens: ANSWER_TOKENS,
+  maxPauseMs: 2 * STEP_MS,
+  ending: 'finish-streams',
+};
+
+/** Figures of one round. */
+export interface RoundReport {
+  readonly route: Route;
+  readonly firstToken: Percentiles;
+  readonly gap: Percentiles;
+  readonly finished: number;
+  readonly failed: number;
+  readonly failures: readonly string[];
+  readonly clientDelay: LoopDelay;
+  /** Processor time of the client as a number of cores. */
+  readonly clientCores: number;
+  readonly entryCores: number;
+  /** Of all endpoint daemons together. */
+  readonly endpointCores: number;
+}
+
+/** One percentile on both routes. */
+export interface Comparison {
+  readonly measure: 'first-token' | 'token-gap';
+  readonly percentile: 'p50' | 'p99';
+  readonly directMs: Millis;
+  readonly pathMs: Millis;
+  readonly addedMs: Millis;
+  readonly ratio: number;
+}
+
+export interface LatencyReport {
+  readonly streams: number;
+  readonly tokensPerAnswer: number;
+  readonly engines: number;
+  readonly rounds: readonly RoundReport[];
+  readonly comparisons: readonly Comparison[];
+}
+
+interface Round {
+  readonly route: Route;
+  readonly run: RunResult;
+  readonly stage: StageResult;
+}
+
+const runRound = async (cluster: Cluster, route: Route, round: number): Promise<Round> => {
+  const target = buildTarget(cluster, route, ANSWER_TOKENS);
+  const run = await runCallers(PLAN, target, listSampledUrls(cluster), round + 1);
+  const [stage] = run.stages;
+  if (stage === undefined) throw new Error('the run has no stage');
+  return { route, run, stage };
+};
+
+const toRoundReport = ({ route, run, stage }: Round): RoundReport => ({
+  route,
+  firstToken: stage.record.firstTokens.getPercentiles(),
+  gap: stage.record.gaps.getPercentiles(),
+  finished: run.finished,
+  failed: run.failed,
+  failures: run.failures,
+  clientDelay: stage.clientDelay,
+  clientCores: computeCores(stage.samples, ({ clientCpuSeconds }) => clientCpuSeconds),
+  entryCores: computeCores(stage.samples, ({ entry }) => entry.cpuSeconds),
+  endpointCores: computeCores(stage.samples, ({ endpoints }) => endpoints.cpuSeconds),
+});
+
+const mergeRoute = (
+  rounds: readonly Round[],
+  route: Route,
+  measure: Comparison['measure'],
+): Percentiles => {
+  const records = rounds.filter((round) => round.route === route).map(({ stage }) => stage.record);
+  const recorders = records.map(({ firstTokens, gaps }) =>
+    measure === 'first-token' ? firstTokens : gaps,
+  );
+  return mergeRecorders(recorders).getPercentiles();
+};
+
+const compareRoutes = (
+  rounds: readonly Round[],
+  measure: Comparison['measure'],
+): readonly Comparison[] => {
+  const direct = mergeRoute(rounds, 'direct', measure);
+  const path = mergeRoute(rounds, 'path', measure);
+  return (['p50', 'p99'] as const).map((percentile) => ({
+    measure,
+    percentile,
+    directMs: direct[percentile],
+    pathMs: path[percentile],
+    addedMs: path[percentile] - direct[percentile],
+    ratio: path[percentile] / direct[percentile],
+  }));
+};
+
+/**
+ * Compares the latencies of the two routes in rounds that take turns.
+ *
+ * @param blocks - how often the block of four rounds is run
+ * @param profileDirectory - directory for processor profiles of the processes
+ * @param print - receives a line for each round
+ * @returns the figures of all rounds and of each route
+ */
+export const measureLatency = async (
+  blocks: number,
+  profileDirectory: string | undefined,
+  print: (line: string) => void,
+): Promise<LatencyReport> => {
+  const cluster = await startCluster(buildLatencyCluster(profileDirectory));
+  const rounds: Round[] = [];
+  try {
+    const routes = Array.from({ length: blocks }, () => BLOCK).flat();
+    for (const [index, route] of routes.entries()) {
+      const round = await runRound(cluster, route, index);
+      rounds.push(round);
+      const { gap, firstToken } = toRoundReport(round);
+      const figures = `first token p50 ${firstToken.p50.toFixed(1)} ms, gap p99 ${gap.p99.toFixed(1)} ms`;
+      print(
+        `round ${(index + 1).toString()} of ${routes.length.toString()} (${route}): ${figures}`,
+      );
+    }
+  } finally {
+    await cluster.stop();
+  }
+  return {
+    streams: LATENCY_STREAMS,
+    tokensPerAnswer: ANSWER_TOKENS,
+    engines: Object.keys(cluster.standinUrls.engines).length,
+    rounds: rounds.map(toRoundReport),
+    comparisons: [...compareRoutes(rounds, 'first-token'), ...compareRoutes(rounds, 'token-gap')],
+  };
+};
--- a/packages/decisions/placement/placement.bench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -1,13 +1,26 @@
+/**
+ * Entry point of `npm run bench:placement`: the time of one placement decision.
+ */
+import { parseArgs } from 'node:util';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
-import { choosePlacement } from './choosePlacement.js';
-import { DEFAULT_PLACEMENT_POLICY } from './constants.js';
-import { createOwnTable } from './own.js';
-import type { OwnTable } from './own.js';
-import type { EndpointView, PlacementPolicy, PlacementRequest } from './types.js';
+import { MAX_PLACEMENT_MICROS } from '../constants.js';
+import { readIdentity } from '../report/machine.js';
+import { printProgress, printResult } from '../report/print.js';
+import { renderTable } from '../report/tables.js';
+import { writeResult } from '../report/writeResult.js';
 import { createRandomSource } from '../../core/random.js';
 import type { RandomSource } from '../../core/random.js';
-import { createSurvivalTable } from '../survival/survivalTable.js';
+import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
+import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
+import { createOwnTable } from '../../decisions/placement/own.js';
+import type { OwnTable } from '../../decisions/placement/own.js';
+import type {
+  EndpointView,
+  PlacementPolicy,
+  PlacementRequest,
+} from '../../decisions/placement/types.js';
+import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 
 const SIZES: readonly number[] = [8, 64, 512];
 const OWN_PLACEMENTS = 2_000;
@@ -81,11 +94,31 @@
 const toMicroseconds = (histogram: Histogram, percentile: number): number =>
   histogram.getValueAtPercentile(percentile) / 1_000;
 
+/** Whether the endpoints have room, or every one is at its limit and none can be chosen. */
+type Room = 'room' | 'all-at-limit';
+
+interface PlacementRow {
+  readonly policy: PlacementPolicy['kind'];
+  readonly endpoints: number;
+  readonly room: Room;
+  readonly p50Micros: number;
+  readonly p99Micros: number;
+  readonly meanMicros: number;
+  readonly result: 'met' | 'missed';
+}
+
+const POLICIES: readonly PlacementPolicy[] = [
+  { kind: 'round-robin' },
+  { kind: 'least-requests' },
+  DEFAULT_PLACEMENT_POLICY,
+];
+
 const measurePolicy = (
   policy: PlacementPolicy,
   endpoints: readonly EndpointView[],
   own: OwnTable,
-) => {
+  room: Room,
+): PlacementRow => {
   const random = createRandomSource(5);
   const histogram = build({ highestTrackableValue: 1e9, numberOfSignificantValueDigits: 3 });
   for (let index = 0; index < WARM_UP_DECISIONS + MEASURED_DECISIONS; index += 1) {
@@ -95,31 +128,61 @@
     const duration = performance.now() - startedAt;
     if (index >= WARM_UP_DECISIONS) histogram.recordValue(Math.round(duration * 1e6));
   }
+  const p99Micros = toMicroseconds(histogram, 99);
   return {
     policy: policy.kind,
-    p50Microseconds: toMicroseconds(histogram, 50),
-    p99Microseconds: toMicroseconds(histogram, 99),
+    endpoints: endpoints.length,
+    room,
+    p50Micros: toMicroseconds(histogram, 50),
+    p99Micros,
+    meanMicros: histogram.mean / 1_000,
+    // The bound is for one decision, so the rare slow ones count.
+    result: p99Micros <= MAX_PLACEMENT_MICROS ? 'met' : 'missed',
   };
 };
 
-const measureSize = (size: number) => {
+const measureSize = (size: number): readonly PlacementRow[] => {
   const random = createRandomSource(3);
   const endpoints = Array.from({ length: size }, (_, index) => buildEndpoint(index, random));
   const own = createOwnTable(survival);
   trackOwn(own, endpoints);
-  const least = measurePolicy({ kind: 'least-requests' }, endpoints, own);
-  const predicted = measurePolicy(DEFAULT_PLACEMENT_POLICY, endpoints, own);
   const full = endpoints.map((view) => ({ ...view, limit: 1 }));
-  const atLimit = measurePolicy(DEFAULT_PLACEMENT_POLICY, full, own);
-  return {
-    endpoints: size,
+  return POLICIES.flatMap((policy) => [
+    measurePolicy(policy, endpoints, own, 'room'),
+    measurePolicy(policy, full, own, 'all-at-limit'),
+  ]);
+};
+
+const renderRows = (rows: readonly PlacementRow[]): string =>
+  renderTable(
+    ['policy', 'endpoints', 'room', 'p50 us', 'p99 us', 'mean us', 'bound 50 us'],
+    rows.map((row) => [
+      row.policy,
+      row.endpoints.toString(),
+      row.room,
+      row.p50Micros.toFixed(2),
+      row.p99Micros.toFixed(2),
+      row.meanMicros.toFixed(2),
+      row.result,
+    ]),
+  );
+
+const runPlacementBench = (): void => {
+  const { values } = parseArgs({ options: { json: { type: 'boolean', default: false } } });
+  const identity = readIdentity();
+  observeLengths(createRandomSource(1));
+  const rows = SIZES.flatMap(measureSize);
+  const report = {
+    bench: 'placement',
+    identity,
     ownPlacements: OWN_PLACEMENTS,
-    policies: [least, predicted],
-    allAtLimit: atLimit,
-    ratioToLeastRequests: Number((predicted.p50Microseconds / least.p50Microseconds).toFixed(2)),
+    decisions: MEASURED_DECISIONS,
+    boundMicros: MAX_PLACEMENT_MICROS,
+    rows,
   };
+  const file = writeResult('bench-placement', report);
+  printResult(values.json ? JSON.stringify(report, undefined, 2) : renderRows(rows));
+  printProgress(`wrote ${file}`);
 };
 
-observeLengths(createRandomSource(1));
-const results = SIZES.map(measureSize);
-console.log(JSON.stringify({ bench: 'placement', boundMicroseconds: 50, results }, null, 2));
+runPlacementBench();
--- /dev/null
+++ b/packages/bench/report/types.ts
@@ -0,0 +1,22 @@
+import type { RunIdentity } from './machine.js';
+import type { HoldsReport } from '../measureHolds.js';
+import type { LatencyReport } from '../measureLatency.js';
+import type { StartupReport } from '../measureStartup.js';
+
+/** One target with what was measured. */
+export interface TargetReport {
+  readonly target: string;
+  readonly measured: string;
+  readonly result: 'met' | 'missed';
+}
+
+/** Result of the path bench; a part that was not run is null. */
+export interface PathReport {
+  readonly bench: 'path';
+  readonly command: string;
+  readonly identity: RunIdentity;
+  readonly latency: LatencyReport | null;
+  readonly capacity: HoldsReport | null;
+  readonly startup: StartupReport | null;
+  readonly targets: readonly TargetReport[];
+}
--- /dev/null
+++ b/packages/bench/runCallers.ts
@@ -0,0 +1,135 @@
+import { Agent } from 'undici';
+import { createLoopDelayWatch } from './client/loopDelay.js';
+import type { LoopDelay } from './client/loopDelay.js';
+import { createStreamClient } from './client/streamClient.js';
+import type { StreamClient, StreamTarget } from './client/streamClient.js';
+import { PAUSE_SEED } from './constants.js';
+import { fetchSample } from './samples/fetchFigures.js';
+import type { SampledUrls } from './samples/fetchFigures.js';
+import { listBenchChildren } from './supervisor.js';
+import type { BenchViews } from './supervisor.js';
+import type { BenchEffect, BenchEvent, RunPlan, Sample, StageRecord } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import { createSystemClock } from '../core/clock.js';
+import type { Loop } from '../core/loop/types.js';
+import { createRandomSource } from '../core/random.js';
+import { createRoutedDaemon } from '../standins/common/routedDaemon.js';
+import { createView } from '../standins/common/view.js';
+
+/** What one stage of a run showed. */
+export interface StageResult {
+  readonly record: StageRecord;
+  readonly samples: readonly Sample[];
+  readonly clientDelay: LoopDelay;
+}
+
+export interface RunResult {
+  readonly stages: readonly StageResult[];
+  readonly finished: number;
+  readonly failed: number;
+  /** First failures, word by word. */
+  readonly failures: readonly string[];
+}
+
+interface Adapters {
+  readonly client: StreamClient;
+  readonly watchClient: (stage: number, watch: 'begin' | 'end') => void;
+  readonly takeSample: (stage: number) => void;
+  readonly onDone: () => void;
+}
+
+const performEffect = (
+  effect: BenchEffect,
+  loop: Loop<BenchEvent>,
+  { client, watchClient, takeSample, onDone }: Adapters,
+): void => {
+  switch (effect.kind) {
+    case 'schedule':
+      loop.schedule(effect.delayMs, effect.event);
+      return;
+    case 'post':
+      loop.post(effect.event);
+      return;
+    case 'open-stream':
+      client.open(effect.caller);
+      return;
+    case 'watch-client':
+      watchClient(effect.stage, effect.watch);
+      return;
+    case 'take-sample':
+      takeSample(effect.stage);
+      return;
+    case 'done':
+      onDone();
+      return;
+    default:
+      assertNever(effect);
+  }
+};
+
+const NO_DELAY: LoopDelay = { p50: 0, p99: 0, max: 0 };
+
+/**
+ * Runs the callers of one plan against a target and samples the daemons meanwhile.
+ *
+ * @param plan - stages, lengths and pauses
+ * @param target - addresses, headers and bodies
+ * @param urls - metrics pages of the daemons
+ * @param seed - makes the pauses of the run differ from those of other runs
+ * @returns one result for each stage
+ */
+export const runCallers = async (
+  plan: RunPlan,
+  target: StreamTarget,
+  urls: SampledUrls,
+  seed = PAUSE_SEED,
+): Promise<RunResult> => {
+  const clock = createSystemClock();
+  const views: BenchViews = { callers: createView(), samples: createView() };
+  const watch = createLoopDelayWatch();
+  const delays = new Map<number, LoopDelay>();
+  const pages = new Agent();
+  await new Promise<void>((resolve, reject) => {
+    const daemon = createRoutedDaemon<BenchEvent, BenchEffect>({
+      name: 'bench',
+      clock,
+      children: listBenchChildren(
+        plan,
+        { now: clock.now, random: createRandomSource(seed) },
+        views,
+      ),
+      perform: (effect, loop) => {
+        performEffect(effect, loop, adapters);
+      },
+    });
+    const client = createStreamClient(target, clock.now, (event) => {
+      daemon.post({ to: 'callers', ...event });
+    });
+    const adapters: Adapters = {
+      client,
+      watchClient: (stage, kind) => {
+        if (kind === 'begin') watch.begin();
+        else delays.set(stage, watch.end());
+      },
+      takeSample: (stage) => {
+        fetchSample(urls, pages, clock.now).then((sample) => {
+          daemon.post({ to: 'samples', kind: 'sampled', stage, sample });
+        }, reject);
+      },
+      onDone: () => {
+        daemon.stop();
+        client.close().then(resolve, reject);
+      },
+    };
+    daemon.start();
+  });
+  await pages.destroy();
+  const { records, finished, failed, failures } = views.callers.get();
+  const { byStage } = views.samples.get();
+  const stages = records.map((record, stage) => ({
+    record,
+    samples: byStage.get(stage) ?? [],
+    clientDelay: delays.get(stage) ?? NO_DELAY,
+  }));
+  return { stages, finished, failed, failures };
+};
--- /dev/null
+++ b/packages/bench/samples/fetchFigures.ts
@@ -0,0 +1,72 @@
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { ProcessFigures, Sample } from '../types.js';
+import type { Millis } from '../../core/clock.js';
+import { PROCESS_GAUGES } from '../../core/metrics/processGauges.js';
+
+const MICROS_PER_SECOND = 1_000_000;
+
+const readGauge = (text: string, name: string): number => {
+  const value = new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1];
+  if (value === undefined) throw new Error(`the metrics page has no ${name}`);
+  return Number(value);
+};
+
+/**
+ * Reads the memory and processor time of a daemon from the text of its metrics page.
+ *
+ * @param text - Prometheus text
+ * @returns the figures
+ * @throws Error when a gauge is missing
+ */
+export const parseFigures = (text: string): ProcessFigures => ({
+  rssBytes: readGauge(text, PROCESS_GAUGES.rss),
+  heapBytes: readGauge(text, PROCESS_GAUGES.heap),
+  externalBytes: readGauge(text, PROCESS_GAUGES.external),
+  cpuSeconds: readGauge(text, PROCESS_GAUGES.cpu),
+});
+
+const fetchFigures = async (url: string, dispatcher: Dispatcher): Promise<ProcessFigures> => {
+  const answer = await request(`${url}/metrics`, { dispatcher });
+  return parseFigures(await answer.body.text());
+};
+
+const addFigures = (left: ProcessFigures, right: ProcessFigures): ProcessFigures => ({
+  rssBytes: left.rssBytes + right.rssBytes,
+  heapBytes: left.heapBytes + right.heapBytes,
+  externalBytes: left.externalBytes + right.externalBytes,
+  cpuSeconds: left.cpuSeconds + right.cpuSeconds,
+});
+
+/** Addresses of the daemons' metrics pages. */
+export interface SampledUrls {
+  readonly entry: string;
+  readonly endpoints: readonly string[];
+}
+
+const NO_FIGURES: ProcessFigures = { rssBytes: 0, heapBytes: 0, externalBytes: 0, cpuSeconds: 0 };
+
+/**
+ * Takes one sample of the processes of the path and of this client.
+ *
+ * @param urls - metrics pages
+ * @param dispatcher - connections of the samples
+ * @param now - clock of the run
+ * @returns the sample
+ */
+export const fetchSample = async (
+  urls: SampledUrls,
+  dispatcher: Dispatcher,
+  now: () => Millis,
+): Promise<Sample> => {
+  const [entry, ...endpoints] = await Promise.all(
+    [urls.entry, ...urls.endpoints].map((url) => fetchFigures(url, dispatcher)),
+  );
+  const { user, system } = process.cpuUsage();
+  return {
+    at: now(),
+    entry: entry ?? NO_FIGURES,
+    endpoints: endpoints.reduce(addFigures, NO_FIGURES),
+    clientCpuSeconds: (user + system) / MICROS_PER_SECOND,
+  };
+};
--- /dev/null
+++ b/packages/bench/samples/samplesChild.ts
@@ -0,0 +1,46 @@
+import { SAMPLE_MS } from '../constants.js';
+import type { BenchEffect, Sample, SamplesEvent } from '../types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+
+/** Samples by stage. */
+export interface SamplesState {
+  readonly byStage: Map<number, Sample[]>;
+  /** Stage that is sampled now. */
+  current: number | null;
+}
+
+const decideSamples = (state: SamplesState, event: SamplesEvent): readonly BenchEffect[] => {
+  const { stage } = event;
+  switch (event.kind) {
+    case 'begun':
+      state.current = stage;
+      return [{ kind: 'take-sample', stage }];
+    case 'sample-due':
+      return state.current === stage ? [{ kind: 'take-sample', stage }] : [];
+    case 'sampled': {
+      if (state.current !== stage) return [];
+      const samples = state.byStage.get(stage) ?? [];
+      state.byStage.set(stage, samples);
+      samples.push(event.sample);
+      const due = { to: 'samples', kind: 'sample-due', stage } as const;
+      return [{ kind: 'schedule', delayMs: SAMPLE_MS, event: due }];
+    }
+    case 'ended':
+      state.current = null;
+      return [];
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the child that samples the processes while a stage is measured.
+ *
+ * @returns the decisions of the child
+ */
+export const createSamplesChild = (): ChildLogic<SamplesState, SamplesEvent, BenchEffect> => ({
+  init: () => toStep<SamplesState, BenchEffect>({ byStage: new Map(), current: null }),
+  decide: (state, event) => toStep(state, ...decideSamples(state, event)),
+});
--- /dev/null
+++ b/packages/bench/samples/usage.ts
@@ -0,0 +1,60 @@
+import type { Sample } from '../types.js';
+import type { Millis } from '../../core/clock.js';
+
+const MILLIS_PER_SECOND = 1_000;
+
+/**
+ * Computes how many cores a process kept busy from the first sample to the last.
+ *
+ * @param samples - samples of one stage
+ * @param read - processor time in seconds
+ * @returns cores; 0 with fewer than two samples
+ */
+export const computeCores = (
+  samples: readonly Sample[],
+  read: (sample: Sample) => number,
+): number => {
+  const first = samples[0];
+  const last = samples.at(-1);
+  if (first === undefined || last === undefined || first === last) return 0;
+  const seconds = (last.at - first.at) / MILLIS_PER_SECOND;
+  return (read(last) - read(first)) / seconds;
+};
+
+/** Memory of a process over the samples of one stage. */
+export interface MemoryUsage {
+  readonly rssMaxBytes: number;
+  /**
+   * Lowest use of the heap: a sample soon after a garbage collection, and so an upper bound of the
+   * state that is held.
+   */
+  readonly heapMinBytes: number;
+  readonly heapMaxBytes: number;
+  readonly externalMaxBytes: number;
+}
+
+/**
+ * Computes the memory of the entry daemon over the samples of a stage.
+ *
+ * @param samples - at least one sample
+ * @returns bounds in bytes
+ */
+export const computeMemory = (samples: readonly Sample[]): MemoryUsage => {
+  const list = (read: (sample: Sample) => number): readonly number[] => samples.map(read);
+  return {
+    rssMaxBytes: Math.max(...list(({ entry }) => entry.rssBytes)),
+    heapMinBytes: Math.min(...list(({ entry }) => entry.heapBytes)),
+    heapMaxBytes: Math.max(...list(({ entry }) => entry.heapBytes)),
+    externalMaxBytes: Math.max(...list(({ entry }) => entry.externalBytes)),
+  };
+};
+
+/**
+ * Computes the rate of a counter over the measured time.
+ *
+ * @param count - events in that time
+ * @param measureMs - measured time
+ * @returns events per second
+ */
+export const computeRate = (count: number, measureMs: Millis): number =>
+  (count * MILLIS_PER_SECOND) / measureMs;
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -36,6 +36,7 @@
 export interface ProcessControlOptions {
   readonly directory: string;
   readonly errorOutput: 'files' | 'inherit';
+  readonly profileDirectory?: string | undefined;
   readonly platformName: string;
 }
 
--- a/packages/cluster/processes/launcher.ts
+++ b/packages/cluster/processes/launcher.ts
@@ -19,11 +19,23 @@
 export interface LauncherOptions {
   readonly directory: string;
   readonly errorOutput: 'files' | 'inherit';
+  /** Directory for processor profiles; none are written when it is absent. */
+  readonly profileDirectory?: string | undefined;
   readonly post: (event: ProcessesEvent) => void;
 }
 
 const PROGRAM = fileURLToPath(new URL('../../../../app/bin/chestnutspan.js', import.meta.url));
 
+const buildProfileFlags = (name: string, directory: string | undefined): readonly string[] =>
+  directory === undefined
+    ? []
+    : [
+        '--cpu-prof',
+        `--cpu-prof-dir=${directory}`,
+        // Profiles of later runs of a process get a name of their own.
+        `--cpu-prof-name=${name}-${Date.now().toString()}.cpuprofile`,
+      ];
+
 const SERVING_SCHEMA = z.object({ urls: z.record(z.string(), z.string()) });
 
 const parseUrls = (line: string): Readonly<Record<string, string>> | undefined => {
@@ -42,20 +54,24 @@
  * @returns the launcher
  */
 export const createLauncher = (options: LauncherOptions): Launcher => {
-  const { directory, errorOutput, post } = options;
+  const { directory, errorOutput, profileDirectory, post } = options;
   const children = new Map<string, ChildProcess>();
 
   const toErrorFile = (name: string): string => join(directory, `${name}.stderr`);
 
   const startChild = (name: string, argv: readonly string[]): ChildProcess => {
     const file = errorOutput === 'files' ? openSync(toErrorFile(name), 'a') : undefined;
-    const child = spawn(process.execPath, [PROGRAM, ...argv], {
-      env: { ...process.env, NODE_ENV: 'production' },
-      // A signal of the terminal must not reach the processes before the cluster stops them in order.
-      detached: true,
-      // The pipe to the standard input closes when this process dies, and the child then stops.
-      stdio: ['pipe', 'pipe', file ?? 'inherit'],
-    });
+    const child = spawn(
+      process.execPath,
+      [...buildProfileFlags(name, profileDirectory), PROGRAM, ...argv],
+      {
+        env: { ...process.env, NODE_ENV: 'production' },
+        // A signal of the terminal must not reach the processes before the cluster stops them in order.
+        detached: true,
+        // The pipe to the standard input closes when this process dies, and the child then stops.
+        stdio: ['pipe', 'pipe', file ?? 'inherit'],
+      },
+    );
     if (file !== undefined) closeSync(file);
     return child;
   };
--- a/packages/cluster/startCluster.ts
+++ b/packages/cluster/startCluster.ts
@@ -54,6 +54,7 @@
   const control = createProcessControl({
     directory,
     errorOutput: options.errorOutput ?? 'files',
+    profileDirectory: options.profileDirectory,
     platformName: plan.platform.name,
   });
   const shared = { directory, keys, models: plan.models, options };
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -66,6 +66,8 @@
   readonly logFormat?: 'json' | 'text';
   /** Where the error output of the processes goes: files in the directory, or that of the caller. */
   readonly errorOutput?: 'files' | 'inherit';
+  /** Directory for processor profiles (`.cpuprofile`) that the processes write when they end. */
+  readonly profileDirectory?: string;
 }
 
 /** One process of a cluster. Fields show the newest run of it. */
--- a/packages/core/metrics/metrics.ts
+++ b/packages/core/metrics/metrics.ts
@@ -1,6 +1,7 @@
 import { Gauge, Registry } from 'prom-client';
 import { createLatencyHistogram } from './latency.js';
 import type { LatencyHistogram } from './latency.js';
+import { registerProcessGauges } from './processGauges.js';
 import type { Millis } from '../clock.js';
 
 const QUANTILES: readonly number[] = [0.5, 0.95, 0.99, 0.999];
@@ -21,6 +22,7 @@
  */
 export const createMetrics = (): Metrics => {
   const registry = new Registry();
+  registerProcessGauges(registry);
   const gauges = new Map<string, Gauge>();
   const latencies = new Map<string, Map<string, LatencyHistogram>>();
 
