--- a/packages/cluster/callers/standinPages.ts
+++ b/packages/cluster/callers/standinPages.ts
@@ -15,6 +15,27 @@
   return EXECUTIONS_SCHEMA.parse(await answer.body.json()).count;
 };
 
+const RUNS_SCHEMA = z.object({ requests: z.record(z.string(), z.number()) });
+
+/**
+ * Counts how often engine stand-ins ran the generations of a request id.
+ *
+ * @param engineUrls - addresses of the engines
+ * @param requestId - id that the caller sent
+ * @returns the number of executions at all of them
+ */
+export const countGenerations = async (
+  engineUrls: readonly string[],
+  requestId: string,
+): Promise<number> => {
+  let count = 0;
+  for (const url of engineUrls) {
+    const answer = await request(`${url}/standin/stats`);
+    count += RUNS_SCHEMA.parse(await answer.body.json()).requests[requestId] ?? 0;
+  }
+  return count;
+};
+
 /**
  * Applies a fault to a stand-in.
  *
--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -73,6 +73,8 @@
   'content-type': 'application/json',
   accept: 'text/event-stream',
   ...(options.className === undefined ? {} : { 'x-chestnutspan-class': options.className }),
+  ...(options.idempotencyKey === undefined ? {} : { 'idempotency-key': options.idempotencyKey }),
+  ...(options.requestId === undefined ? {} : { 'x-request-id': options.requestId }),
   ...(options.lastEventId === undefined ? {} : { 'last-event-id': options.lastEventId }),
 });
 
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -66,6 +66,9 @@
   readonly targetTokens?: number;
   readonly className?: string;
   readonly lastEventId?: string;
+  readonly idempotencyKey?: string;
+  /** Counted by the engine stand-in. */
+  readonly requestId?: string;
 }
 
 /** Call of a plain service. */
--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -27,10 +27,12 @@
   view: IntentView,
 ): IntentStep => {
   const { answer, status, bodyDigest } = result;
+  // The chain knows the status and digest of an answer that the endpoint daemon has dropped.
+  if (answer === null && state.purpose === 'replay') return replyFromChain(state, view);
   const effect: IntentEffect =
     answer === null
       ? { kind: 'answer-digest', status, bodyDigest }
-      : { kind: 'answer', answer, source: 'stored' };
+      : { kind: 'answer', answer, source: 'stored', place: state.place };
   const outcome = { verdict: 'ran', status, bodyDigest } as const;
   return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
 };
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -137,7 +137,9 @@
   switch (result.kind) {
     case 'answered': {
       const { status, bodyDigest } = result.answer;
-      const effect: IntentEffect = { kind: 'answer', answer: result.answer, source: 'own' };
+      const { answer } = result;
+      const { place } = state;
+      const effect: IntentEffect = { kind: 'answer', answer, source: 'own', place };
       const outcome = { verdict: 'ran', status, bodyDigest } as const;
       return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
     }
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -38,6 +38,26 @@
   });
 });
 
+// Guards against a large answer that fills the memory, and against its nonce starting again.
+test('an answer too large to hold leaves its status and digest', (t) => {
+  const table = createTable();
+  const nonce = createNonce();
+  const at = { nonce, incarnation: 'i', now: 1 };
+  decideNonce(table, { kind: 'start', ...at });
+  decideNonce(table, {
+    kind: 'finish-without-answer',
+    nonce,
+    status: 200,
+    bodyDigest: 'd',
+  });
+  t.is(table.answerBytes, 0);
+  t.deepEqual(decideNonce(table, { kind: 'fence', ...at }), {
+    kind: 'fence',
+    result: { kind: 'finished', answer: null, status: 200, bodyDigest: 'd' },
+  });
+  t.like(decideNonce(table, { kind: 'start', ...at }), { failure: { verdict: 'may-have-run' } });
+});
+
 // Guards against an incarnation that promises for one that is gone.
 test('another incarnation neither starts nor fences', (t) => {
   const at = { nonce: createNonce(), incarnation: 'older', now: 1 };
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -157,6 +157,17 @@
   return { kind: 'kept' };
 };
 
+const closeWithoutAnswer = (
+  table: NonceTable,
+  event: Extract<NonceEvent, { kind: 'finish-without-answer' }>,
+): NonceDecision => {
+  const { nonce, status, bodyDigest } = event;
+  const entry = table.entries.get(nonce);
+  if (entry?.kind !== 'started') return { kind: 'kept' };
+  table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
+  return { kind: 'kept' };
+};
+
 const releaseNonce = (table: NonceTable, nonce: Nonce): NonceDecision => {
   const entry = table.entries.get(nonce);
   if (entry?.kind === 'started') {
@@ -194,6 +205,8 @@
       return fenceNonce(table, event);
     case 'finish':
       return closeNonce(table, event);
+    case 'finish-without-answer':
+      return closeWithoutAnswer(table, event);
     case 'release':
       return releaseNonce(table, event.nonce);
     case 'expire':
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -16,7 +16,16 @@
   bodyDigest: place.nonce,
 });
 
-/** The service runs the call, then its answer is stored and sent; a restart in between loses it. */
+const REFUSED: DispatchResult = {
+  kind: 'refused',
+  failure: createFailure('not-run', 'overloaded', 'the engine has no room'),
+};
+
+/**
+ * The endpoint runs the work, then its answer is stored and sent; a restart in between loses it. The
+ * endpoint may also refuse the work, the link to the entry daemon may break while the work runs, as
+ * in mid-stream, and the answer may be too large to be stored.
+ */
 const runCall = (
   world: World,
   endpoint: EndpointModel,
@@ -25,15 +34,29 @@
   reply: (result: DispatchResult) => void,
 ): void => {
   const { table } = endpoint;
-  addTask(world, () => {
+  const { nonce } = place;
+  addTask(world, (atStart) => {
     if (endpoint.table !== table) {
       reply(LOST);
       return;
     }
-    recordExecution(world, place.nonce, key);
+    if (atStart === 'lose-request') {
+      decideNonce(table, { kind: 'release', nonce });
+      reply(REFUSED);
+      return;
+    }
+    recordExecution(world, nonce, key);
+    // The entry daemon acts on its first reply only.
+    if (atStart === 'lose-answer') reply(LOST);
     addTask(world, (fault) => {
       const answer = buildAnswer(place);
-      decideNonce(table, { kind: 'finish', nonce: place.nonce, answer, now: world.now });
+      const { status, bodyDigest } = answer;
+      decideNonce(
+        table,
+        fault === 'late'
+          ? { kind: 'finish-without-answer', nonce, status, bodyDigest }
+          : { kind: 'finish', nonce, answer, now: world.now },
+      );
       const lost = endpoint.table !== table || fault === 'lose-answer';
       reply(lost ? LOST : { kind: 'answered', answer });
     });
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -189,6 +189,8 @@
       readonly kind: 'answer';
       readonly answer: StoredAnswer;
       readonly source: 'own' | 'stored';
+      /** The nonce that the answer belongs to. */
+      readonly place: NoncePlace;
     }
   /** The key ran and its answer is no longer held. */
   | {
@@ -319,6 +321,13 @@
       readonly answer: StoredAnswer;
       readonly now: Millis;
     }
+  /** The answer of a started nonce is too large to be held. */
+  | {
+      readonly kind: 'finish-without-answer';
+      readonly nonce: Nonce;
+      readonly status: number;
+      readonly bodyDigest: string;
+    }
   /** The call of a started nonce certainly did not reach the service. */
   | { readonly kind: 'release'; readonly nonce: Nonce }
   | { readonly kind: 'expire'; readonly now: Millis };
--- a/packages/decisions/streams/buffer.test.ts
+++ b/packages/decisions/streams/buffer.test.ts
@@ -5,7 +5,7 @@
 
 const SEED = 77;
 const RUNS = 2_000;
-const LIMITS = { maxChunks: 16, maxBytes: 200, windowChunks: 5 };
+const LIMITS = { maxChunks: 16, maxBytes: 200, windowChunks: 5, orphans: 'cancelled' } as const;
 
 const toReader = (stream: string, link = 0) => ({ stream, link });
 const anyReader = fc.record({ stream: fc.constantFrom('a', 'b'), link: fc.nat({ max: 3 }) });
@@ -26,76 +26,84 @@
 
 // Guards against a buffer that grows without bound, sends a wrong chunk under a number, skips one,
 // or ends before the reader has all of them.
-test('a buffer stays within its bounds and sends each reader its chunks in order', (t) => {
-  const property = fc.property(fc.array(anyCommand, { maxLength: 80, size: 'max' }), (commands) => {
-    let state: BufferState = initBuffer(0, LIMITS);
-    let now = 0;
-    let produced = 0;
-    const next = new Map<string, number>();
-    const apply = (event: BufferEvent): void => {
-      const step = decideBuffer(state, event);
-      state = step.state;
-      for (const effect of step.effects) {
-        if (!('stream' in effect)) continue;
-        const key = `${effect.stream}${effect.link.toString()}`;
-        if (effect.kind === 'send-finished' && next.get(key) !== produced) throw new Error('early');
-        if (effect.kind !== 'send-chunks') continue;
-        if (next.get(key) !== effect.firstNumber) throw new Error(`gap before ${key}`);
-        effect.chunks.forEach((chunk, at) => {
-          if (chunk !== `chunk ${(effect.firstNumber + at).toString()}`) throw new Error(chunk);
-        });
-        next.set(key, effect.firstNumber + effect.chunks.length);
-      }
-      const untaken = state.reader === null ? 0 : state.reader.sent - state.reader.taken;
-      if (untaken > LIMITS.windowChunks) throw new Error('window exceeded');
-      const kept = state.ring.getNext() - state.ring.getFirst();
-      const isOver = kept > LIMITS.maxChunks || state.ring.getBytes() > LIMITS.maxBytes;
-      if (isOver && state.phase === 'generating') throw new Error(`${kept.toString()} chunks kept`);
-    };
-    for (const command of commands) {
-      switch (command.kind) {
-        case 'produce': {
-          if (state.phase !== 'generating' || state.flow === 'paused') break;
-          const chunks = Array.from(
-            { length: command.count },
-            (_, at) => `chunk ${(produced + at).toString()}`,
-          );
-          produced += command.count;
-          apply({ kind: 'engine-chunks', chunks, now });
-          break;
+for (const orphans of ['cancelled', 'kept'] as const) {
+  test(`a buffer stays within its bounds and sends its chunks in order, orphans ${orphans}`, (t) => {
+    const property = fc.property(
+      fc.array(anyCommand, { maxLength: 80, size: 'max' }),
+      (commands) => {
+        let state: BufferState = initBuffer(0, { ...LIMITS, orphans });
+        let now = 0;
+        let produced = 0;
+        const next = new Map<string, number>();
+        const apply = (event: BufferEvent): void => {
+          const step = decideBuffer(state, event);
+          state = step.state;
+          for (const effect of step.effects) {
+            if (!('stream' in effect)) continue;
+            const key = `${effect.stream}${effect.link.toString()}`;
+            if (effect.kind === 'send-finished' && next.get(key) !== produced)
+              throw new Error('early');
+            if (effect.kind !== 'send-chunks') continue;
+            if (next.get(key) !== effect.firstNumber) throw new Error(`gap before ${key}`);
+            effect.chunks.forEach((chunk, at) => {
+              if (chunk !== `chunk ${(effect.firstNumber + at).toString()}`) throw new Error(chunk);
+            });
+            next.set(key, effect.firstNumber + effect.chunks.length);
+          }
+          const untaken = state.reader === null ? 0 : state.reader.sent - state.reader.taken;
+          if (untaken > LIMITS.windowChunks) throw new Error('window exceeded');
+          const kept = state.ring.getNext() - state.ring.getFirst();
+          const isOver = kept > LIMITS.maxChunks || state.ring.getBytes() > LIMITS.maxBytes;
+          if (isOver && state.phase === 'generating')
+            throw new Error(`${kept.toString()} chunks kept`);
+        };
+        for (const command of commands) {
+          switch (command.kind) {
+            case 'produce': {
+              if (state.phase !== 'generating' || state.flow === 'paused') break;
+              const chunks = Array.from(
+                { length: command.count },
+                (_, at) => `chunk ${(produced + at).toString()}`,
+              );
+              produced += command.count;
+              apply({ kind: 'engine-chunks', chunks, now });
+              break;
+            }
+            case 'open': {
+              const key = `${command.who.stream}${command.who.link.toString()}`;
+              const before = next.get(key);
+              next.set(key, command.from);
+              apply({ kind: 'reader-opened', ...command.who, fromNumber: command.from, now });
+              const isOpen =
+                state.reader?.stream === command.who.stream &&
+                state.reader.link === command.who.link;
+              if (before !== undefined && isOpen) next.set(key, state.reader?.sent ?? 0);
+              break;
+            }
+            case 'take':
+              apply({ kind: 'reader-took', ...command.who, nextNumber: command.to, now });
+              break;
+            case 'close':
+              apply({ kind: 'reader-closed', ...command.who, now });
+              break;
+            case 'tick':
+              now += command.by;
+              apply({ kind: 'tick', now });
+              break;
+            case 'finish':
+              apply({ kind: 'engine-finished', usage: '', now });
+              break;
+            case 'fail':
+              apply({ kind: 'cancelled', now });
+              break;
+          }
         }
-        case 'open': {
-          const key = `${command.who.stream}${command.who.link.toString()}`;
-          const before = next.get(key);
-          next.set(key, command.from);
-          apply({ kind: 'reader-opened', ...command.who, fromNumber: command.from, now });
-          const isOpen =
-            state.reader?.stream === command.who.stream && state.reader.link === command.who.link;
-          if (before !== undefined && isOpen) next.set(key, state.reader?.sent ?? 0);
-          break;
-        }
-        case 'take':
-          apply({ kind: 'reader-took', ...command.who, nextNumber: command.to, now });
-          break;
-        case 'close':
-          apply({ kind: 'reader-closed', ...command.who, now });
-          break;
-        case 'tick':
-          now += command.by;
-          apply({ kind: 'tick', now });
-          break;
-        case 'finish':
-          apply({ kind: 'engine-finished', usage: '', now });
-          break;
-        case 'fail':
-          apply({ kind: 'cancelled', now });
-          break;
-      }
-    }
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: RUNS });
+    t.pass();
   });
-  fc.assert(property, { seed: SEED, numRuns: RUNS });
-  t.pass();
-});
+}
 
 const run = (...events: readonly BufferEvent[]) => {
   const first = decideBuffer(initBuffer(0, LIMITS), { kind: 'tick', now: 0 });
@@ -136,6 +144,36 @@
   t.deepEqual(released.effects, [{ kind: 'release' }]);
 });
 
+// Guards against a generation under a key that is cancelled, or held back for ever, because its
+// caller left; the caller would then never get an answer.
+test('a kept generation without a reader runs on and keeps its newest chunks', (t) => {
+  let state = initBuffer(0, { ...LIMITS, orphans: 'kept' });
+  const apply = (event: BufferEvent): void => {
+    const step = decideBuffer(state, event);
+    state = step.state;
+    t.deepEqual(step.effects, []);
+  };
+  for (let produced = 0; produced < 100; produced += 4) apply(buildProduced(4));
+  apply({ kind: 'tick', now: 60_000 });
+  t.is(state.phase, 'generating');
+  t.true(state.ring.getNext() - state.ring.getFirst() <= LIMITS.maxChunks);
+  apply({ kind: 'engine-finished', usage: '', now: 60_000 });
+  t.is(state.phase, 'ended');
+});
+
+// Guards against a slow caller that ends a generation which must run only once.
+test('a slow reader leaves a kept generation running', (t) => {
+  const first = decideBuffer(initBuffer(0, { ...LIMITS, orphans: 'kept' }), open('a'));
+  const step = decideBuffer(first.state, buildProduced(8));
+  const slow = decideBuffer(step.state, { kind: 'tick', now: 15_000 });
+  t.deepEqual(
+    slow.effects.map(({ kind }) => kind),
+    ['send-failed', 'continue-engine'],
+  );
+  t.is(slow.state.phase, 'generating');
+  t.is(slow.state.reader, null);
+});
+
 // Guards against a resume that silently skips chunks, and a slow caller that fills the memory.
 test('a dropped number is refused and a slow reader pauses the engine, then loses the stream', (t) => {
   const took = { kind: 'reader-took', ...toReader('a'), nextNumber: 5, now: 0 } as const;
--- a/packages/decisions/streams/buffer.ts
+++ b/packages/decisions/streams/buffer.ts
@@ -32,6 +32,7 @@
   maxChunks: BUFFER_MAX_CHUNKS,
   maxBytes: BUFFER_MAX_BYTES,
   windowChunks: READER_WINDOW_CHUNKS,
+  orphans: 'cancelled',
 };
 
 /**
@@ -100,6 +101,7 @@
 /** Chunks that the next reader or the active one still needs; only those before them are dropped. */
 const getNeededFrom = (state: BufferState): number => {
   if (state.reader !== null) return state.reader.taken;
+  if (state.limits.orphans === 'kept') return state.ring.getNext();
   return state.phase === 'generating' ? state.ring.getFirst() : state.ring.getNext();
 };
 
@@ -229,6 +231,7 @@
 
 const expireGenerating = (state: BufferState, now: Millis): BufferStep => {
   if (state.reader === null) {
+    if (state.limits.orphans === 'kept') return toStep(state);
     if (now - state.idleSince < ORPHAN_TIMEOUT_MS) return toStep(state);
     const text = `nobody read the generation for ${(now - state.idleSince).toFixed(0)} ms`;
     return cancelWith(state, createFailure('may-have-run', 'cancelled', text), now);
@@ -237,6 +240,10 @@
   const text = `the reader took nothing for ${(now - state.reader.activeAt).toFixed(0)} ms`;
   const failure = createFailure('may-have-run', 'stream-lost', text);
   const notice: BufferEffect = { kind: 'send-failed', ...toIdentity(state.reader), failure };
+  if (state.limits.orphans === 'kept') {
+    const left = updateFlow(closeReader(state, now));
+    return toStep(left.state, notice, ...left.effects);
+  }
   const cancelled = cancelWith({ ...state, reader: null }, failure, now);
   return toStep(cancelled.state, notice, ...cancelled.effects);
 };
@@ -287,7 +294,7 @@
     case 'reader-took':
       return takeByReader(state, event);
     case 'reader-closed':
-      return isActive(state, event) ? closeReader(state, event.now) : toStep(state);
+      return isActive(state, event) ? updateFlow(closeReader(state, event.now)) : toStep(state);
     case 'cancelled': {
       if (state.phase !== 'generating') return toStep(state);
       const failure = createFailure('may-have-run', 'cancelled', 'the caller cancelled');
--- a/packages/decisions/streams/bufferTypes.ts
+++ b/packages/decisions/streams/bufferTypes.ts
@@ -35,6 +35,11 @@
   readonly maxChunks: number;
   readonly maxBytes: number;
   readonly windowChunks: number;
+  /**
+   * What becomes of a generation that nobody reads. `kept` ones run to their end without holding
+   * the engine back, because their caller may ask for the answer by its key.
+   */
+  readonly orphans: 'cancelled' | 'kept';
 }
 
 /** Buffer of one generation at its endpoint daemon. */
--- a/packages/decisions/streams/faultyStreams.fixture.ts
+++ b/packages/decisions/streams/faultyStreams.fixture.ts
@@ -61,7 +61,12 @@
 
 const ENDPOINTS = 2;
 const MAX_ATTEMPTS = 6;
-const SMALL_LIMITS = { maxChunks: 24, maxBytes: 100_000, windowChunks: 6 };
+const SMALL_LIMITS = {
+  maxChunks: 24,
+  maxBytes: 100_000,
+  windowChunks: 6,
+  orphans: 'cancelled',
+} as const;
 
 const getTotal = (serial: number): number => 1 + ((serial * 7) % 19);
 
--- a/packages/endpoint/perform.ts
+++ b/packages/endpoint/perform.ts
@@ -70,7 +70,7 @@
       rpc.sendChunks(effect.callId, effect.firstNumber, effect.choices);
       return;
     case 'send-finished':
-      rpc.sendFinished(effect.callId, effect.chunkCount, effect.usage);
+      rpc.sendFinished(effect.callId, effect.chunkCount, effect.usage, effect.digest);
       return;
     case 'send-failure':
       rpc.sendFailure(effect.callId, effect.failure);
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -56,6 +56,7 @@
   entry: message.entry,
   stream: message.stream,
   link: message.link,
+  nonce: message.nonce === '' ? null : message.nonce,
   body: message.body,
 });
 
@@ -70,7 +71,12 @@
 export interface RpcServer {
   readonly sendStarted: (callId: CallId) => void;
   readonly sendChunks: (callId: CallId, firstNumber: number, choices: readonly string[]) => void;
-  readonly sendFinished: (callId: CallId, chunkCount: number, usage: string) => void;
+  readonly sendFinished: (
+    callId: CallId,
+    chunkCount: number,
+    usage: string,
+    digest: string,
+  ) => void;
   readonly sendFailure: (callId: CallId, failure: Failure) => void;
   readonly replyAnswer: (callId: CallId, answer: ServiceAnswer) => void;
   readonly replyFailure: (callId: CallId, failure: Failure) => void;
@@ -205,8 +211,8 @@
       const value = create(GenerateChunksSchema, { firstNumber, choices: [...choices] });
       push(callId, { case: 'chunks', value }, 'more');
     },
-    sendFinished: (callId, chunkCount, usage) => {
-      const value = create(GenerateFinishedSchema, { chunkCount, usage });
+    sendFinished: (callId, chunkCount, usage, digest) => {
+      const value = create(GenerateFinishedSchema, { chunkCount, usage, digest });
       push(callId, { case: 'finished', value }, 'last');
     },
     sendFailure,
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -1,3 +1,5 @@
+import { closeRecord, createRecord, addToRecord, startOnce } from './answerRecord.js';
+import type { AnswerRecordInputs } from './answerRecord.js';
 import { PROGRESS_REPORT_MS, REFUSED_KEPT_MS, SWEEP_MS } from './constants.js';
 import type { Generation, ReaderLink, StreamsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -24,8 +26,7 @@
   WorkResult,
 } from '../types.js';
 
-export interface StreamsInputs {
-  readonly now: () => Millis;
+export interface StreamsInputs extends AnswerRecordInputs {
   readonly limits: BufferLimits;
   readonly choosePriority: (call: GenerateCall) => number;
 }
@@ -95,7 +96,8 @@
       const callId = state.calls.get(toReaderKey(effect));
       if (callId === undefined) return [];
       const { chunkCount, usage } = effect;
-      return [{ kind: 'send-finished', callId, chunkCount, usage }];
+      const digest = state.generations.get(generationId)?.record?.digest ?? '';
+      return [{ kind: 'send-finished', callId, chunkCount, usage, digest }];
     }
     case 'send-failed': {
       const callId = state.calls.get(toReaderKey(effect));
@@ -136,9 +138,15 @@
   state: StreamsState,
   generation: Generation,
   event: BufferEvent,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const { generationId } = generation.call;
   const step = decideBuffer(generation.buffer, event);
+  // A generation that the daemon itself stopped ran in part, and must not run again.
+  const { end } = step.state;
+  if (step.effects.some(({ kind }) => kind === 'cancel-engine') && end !== null) {
+    closeRecord(generation, end, inputs);
+  }
   const next = { ...generation, buffer: step.state };
   state.generations.set(generationId, next);
   if (isRunning(generation) && !isRunning(next)) state.running -= 1;
@@ -154,10 +162,14 @@
     const text = 'the start arrived after a resume of the generation was refused';
     return [...refuseCall(call, createFailure('not-run', 'fenced', text)), describeRefused(call)];
   }
+  const refusal = startOnce(call, inputs);
+  if (refusal !== null) return [...refuseCall(call, refusal), describeRefused(call)];
   const now = inputs.now();
+  const orphans = call.nonce === null ? 'cancelled' : 'kept';
   const generation: Generation = {
     call,
-    buffer: initBuffer(now, inputs.limits),
+    record: createRecord(call),
+    buffer: initBuffer(now, { ...inputs.limits, orphans }),
     startedAt: now,
     firstChunkAt: null,
     lastChunkAt: null,
@@ -183,7 +195,7 @@
         data: { generationId: call.generationId, running: state.running },
       },
     },
-    ...openReader(state, generation, call, now),
+    ...openReader(state, generation, call, inputs),
   ];
 };
 
@@ -191,15 +203,16 @@
   state: StreamsState,
   generation: Generation,
   call: GenerateCall,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
+  const now = inputs.now();
   const identity = registerReader(state, call);
-  const opened = applyBuffer(state, generation, {
-    kind: 'reader-opened',
-    ...identity,
-    fromNumber: call.resumeFrom,
-    now,
-  });
+  const opened = applyBuffer(
+    state,
+    generation,
+    { kind: 'reader-opened', ...identity, fromNumber: call.resumeFrom, now },
+    inputs,
+  );
   return [{ kind: 'send-started', callId: call.callId }, ...opened];
 };
 
@@ -219,7 +232,7 @@
         data: { generationId: call.generationId, fromNumber: call.resumeFrom },
       },
     };
-    return [resumed, ...openReader(state, known, call, inputs.now())];
+    return [resumed, ...openReader(state, known, call, inputs)];
   }
   if (call.mode === 'resume') {
     state.refused.set(call.generationId, inputs.now());
@@ -248,10 +261,12 @@
 const addChunks = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'engine-chunks' }>,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(event.generationId);
   if (generation === undefined) return [];
+  const now = inputs.now();
+  if (generation.record !== null) addToRecord(generation.record, event.choices, inputs);
   const timed: Generation = {
     ...generation,
     firstChunkAt: generation.firstChunkAt ?? now,
@@ -262,7 +277,7 @@
   const reported =
     report === null ? timed : { ...timed, reportedAt: now, reportedCount: timed.chunkCount };
   return [
-    ...applyBuffer(state, reported, { kind: 'engine-chunks', chunks: event.choices, now }),
+    ...applyBuffer(state, reported, { kind: 'engine-chunks', chunks: event.choices, now }, inputs),
     ...(report === null ? [] : [report]),
   ];
 };
@@ -270,12 +285,14 @@
 const closeFinished = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'engine-finished' }>,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(event.generationId);
   if (generation === undefined || !isRunning(generation)) return [];
+  const now = inputs.now();
+  closeRecord(generation, { kind: 'finished', usage: event.usage }, inputs);
   return [
-    ...applyBuffer(state, generation, { kind: 'engine-finished', usage: event.usage, now }),
+    ...applyBuffer(state, generation, { kind: 'engine-finished', usage: event.usage, now }, inputs),
     describeOutcome(generation, 'success'),
     {
       kind: 'log',
@@ -296,14 +313,16 @@
 const closeFailed = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'engine-failed' }>,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(event.generationId);
   if (generation === undefined || !isRunning(generation)) return [];
   const { failure } = event;
+  const now = inputs.now();
+  closeRecord(generation, { kind: 'failed', failure }, inputs);
   const result = toResult(failure);
   return [
-    ...applyBuffer(state, generation, { kind: 'engine-failed', failure, now }),
+    ...applyBuffer(state, generation, { kind: 'engine-failed', failure, now }, inputs),
     describeOutcome(generation, result),
     {
       kind: 'log',
@@ -319,36 +338,39 @@
 const closeReader = (
   state: StreamsState,
   callId: CallId,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const link = removeReader(state, callId);
   const generation = link === undefined ? undefined : state.generations.get(link.generationId);
   if (link === undefined || generation === undefined) return [];
   const identity = { stream: link.stream, link: link.link };
-  return applyBuffer(state, generation, { kind: 'reader-closed', ...identity, now });
+  const closed = { kind: 'reader-closed', ...identity, now: inputs.now() } as const;
+  return applyBuffer(state, generation, closed, inputs);
 };
 
 const updateTaken = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'reader-took' }>,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const link = state.readers.get(event.callId);
   const generation = link === undefined ? undefined : state.generations.get(link.generationId);
   if (link === undefined || generation === undefined) return [];
   const identity = { stream: link.stream, link: link.link };
   const { nextNumber } = event;
-  return applyBuffer(state, generation, { kind: 'reader-took', ...identity, nextNumber, now });
+  const taken = { kind: 'reader-took', ...identity, nextNumber, now: inputs.now() } as const;
+  return applyBuffer(state, generation, taken, inputs);
 };
 
 const cancelByCaller = (
   state: StreamsState,
   generationId: GenerationId,
-  now: Millis,
+  inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(generationId);
-  if (generation === undefined) return [];
-  return applyBuffer(state, generation, { kind: 'cancelled', now });
+  // The caller of a generation that runs at most once may ask for the answer by its key.
+  if (generation === undefined || generation.call.nonce !== null) return [];
+  return applyBuffer(state, generation, { kind: 'cancelled', now: inputs.now() }, inputs);
 };
 
 /** Takes the admitted sequence off the limit again. */
@@ -377,10 +399,14 @@
   }
 };
 
-const expireGenerations = (state: StreamsState, now: Millis): readonly EndpointEffect[] => {
+const expireGenerations = (
+  state: StreamsState,
+  inputs: StreamsInputs,
+): readonly EndpointEffect[] => {
+  const now = inputs.now();
   pruneRefused(state, now);
   const ticks = [...state.generations.values()].flatMap((generation) =>
-    applyBuffer(state, generation, { kind: 'tick', now }),
+    applyBuffer(state, generation, { kind: 'tick', now }, inputs),
   );
   const again = { to: 'streams', kind: 'sweep' } as const;
   return [...ticks, { kind: 'schedule', delayMs: SWEEP_MS, event: again }];
@@ -395,19 +421,19 @@
     case 'open':
       return openCall(state, event.call, inputs);
     case 'engine-chunks':
-      return addChunks(state, event, inputs.now());
+      return addChunks(state, event, inputs);
     case 'engine-finished':
-      return closeFinished(state, event, inputs.now());
+      return closeFinished(state, event, inputs);
     case 'engine-failed':
-      return closeFailed(state, event, inputs.now());
+      return closeFailed(state, event, inputs);
     case 'reader-took':
-      return updateTaken(state, event, inputs.now());
+      return updateTaken(state, event, inputs);
     case 'reader-gone':
-      return closeReader(state, event.callId, inputs.now());
+      return closeReader(state, event.callId, inputs);
     case 'cancel':
-      return cancelByCaller(state, event.generationId, inputs.now());
+      return cancelByCaller(state, event.generationId, inputs);
     case 'sweep':
-      return expireGenerations(state, inputs.now());
+      return expireGenerations(state, inputs);
     default:
       return assertNever(event);
   }
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -3,6 +3,15 @@
 import type { BufferState } from '../../decisions/streams/bufferTypes.js';
 import type { CallId, GenerateCall } from '../types.js';
 
+/** What is kept of an answer for a repeated key; updated in place with each chunk. */
+export interface AnswerRecord {
+  /** Digest over all chunks so far, each hashed with the digest before it. */
+  digest: string;
+  bytes: number;
+  /** Null once the answer is too large to be kept. */
+  choices: string[] | null;
+}
+
 /** One generation of this endpoint with its buffer and its timing. */
 export interface Generation {
   readonly call: GenerateCall;
@@ -14,6 +23,8 @@
   /** Last report of progress to the admission limit. */
   readonly reportedAt: Millis | null;
   readonly reportedCount: number;
+  /** Answer of a generation that must run at most once; null for others. */
+  readonly record: AnswerRecord | null;
 }
 
 /** Which generation an open call of an entry daemon reads. */
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -35,6 +35,8 @@
   /** Identity of the caller's stream at the entry daemon, and the number of this link to it. */
   readonly stream: string;
   readonly link: number;
+  /** Set for a generation that must run at most once; equals the generation id. */
+  readonly nonce: string | null;
   readonly body: Uint8Array;
 }
 
@@ -327,6 +329,8 @@
       readonly callId: CallId;
       readonly chunkCount: number;
       readonly usage: string;
+      /** Digest of the answer of a generation that must run at most once, else empty. */
+      readonly digest: string;
     }
   | { readonly kind: 'send-failure'; readonly callId: CallId; readonly failure: Failure }
   | { readonly kind: 'call-service'; readonly call: ServiceCall }
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -146,12 +146,15 @@
     }),
     streams: createStreamsLogic({
       now,
+      nonces,
+      hashBody,
       choosePriority: ({ className, importance }) =>
         computePriority(getClassTargets(states, className, importance), 'lower-first'),
       limits: {
         maxChunks: settings.buffer.maxChunks,
         maxBytes: settings.buffer.maxTotalBytes,
         windowChunks: READER_WINDOW_CHUNKS,
+        orphans: 'cancelled',
       },
     }),
     calls: createCallsLogic({ now, nonces, hashBody }),
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -264,6 +264,8 @@
       readonly source: GenerationSource;
       readonly fromNumber: number;
       readonly chunks: readonly string[];
+      /** A stored answer is written at once, since its size is bounded. */
+      readonly pace: 'live' | 'stored';
     }
   | { readonly kind: 'finish-generation'; readonly requestId: RequestId; readonly usage: string }
   | { readonly kind: 'send-answer'; readonly requestId: RequestId; readonly answer: ServiceAnswer }
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -62,6 +62,22 @@
   return Err(createFailure('not-run', 'bad-request', text));
 };
 
+interface CallerKey {
+  readonly key: string | null;
+  readonly keyIssuedAt: Millis | null;
+}
+
+const readKey = (request: FastifyRequest): Result<CallerKey, Failure> => {
+  const key = getHeader(request, 'idempotency-key') ?? null;
+  if (key === null) return Ok({ key, keyIssuedAt: null });
+  if (key.length > MAX_KEY_LENGTH) {
+    const text = `Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`;
+    return Err(createFailure('not-run', 'bad-request', text));
+  }
+  const header = getHeader(request, 'idempotency-key-issued-at');
+  return readKeyTime(header, key).map((keyIssuedAt) => ({ key, keyIssuedAt }));
+};
+
 const sendProblem = (reply: FastifyReply, requestId: string, failure: Failure): FastifyReply => {
   const problem = toProblem(failure, requestId);
   return reply
@@ -155,7 +171,10 @@
     const parsed = parseRequestBody(body);
     if (parsed.isErr()) return sendProblem(reply, requestId, parsed.error);
     const base = readBase(request, requestId, customer);
-    submit(reply, { ...base, ...parsed.value, kind: 'generation', body }, parsed.value.form);
+    const key = readKey(request);
+    if (key.isErr()) return sendProblem(reply, requestId, key.error);
+    const chat = { ...base, ...parsed.value, ...key.value, kind: 'generation', body } as const;
+    submit(reply, chat, parsed.value.form);
     return reply;
   };
 
@@ -166,14 +185,8 @@
     const { name = '', '*': rest = '' } = request.params as Record<string, string | undefined>;
     const route = findServiceRoute(settings.services, name, request.method, `/${rest}`);
     if (route.isErr()) return sendProblem(reply, requestId, route.error);
-    const key = getHeader(request, 'idempotency-key') ?? null;
-    if (key !== null && key.length > MAX_KEY_LENGTH) {
-      const text = `Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`;
-      return sendProblem(reply, requestId, createFailure('not-run', 'bad-request', text));
-    }
-    const issuedAt =
-      key === null ? Ok(null) : readKeyTime(getHeader(request, 'idempotency-key-issued-at'), key);
-    if (issuedAt.isErr()) return sendProblem(reply, requestId, issuedAt.error);
+    const key = readKey(request);
+    if (key.isErr()) return sendProblem(reply, requestId, key.error);
     const body = toBytes(request.body);
     const path = request.url.slice(`/services/${name}`.length);
     const callerRequest: CallerRequest = {
@@ -186,8 +199,7 @@
       body,
       repeat: route.value.repeat,
       routeClass: route.value.className ?? null,
-      key,
-      keyIssuedAt: issuedAt.value,
+      ...key.value,
       fingerprint: hashCall(request.method, `/${name}${path}`, body),
     };
     submit(reply, callerRequest, { kind: 'whole' });
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -44,7 +44,7 @@
     fromNumber,
     chunks,
   });
-  if (written === 'written') return;
+  if (written === 'written' || effect.pace === 'stored') return;
   // The caller reads too slowly to buffer for it here; it can resume from its last event id.
   adapters.responders.breakOff(requestId);
   adapters.loop().post({ to: 'requests', kind: 'caller-gone', requestId });
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -52,6 +52,7 @@
  * Builds the effects that send a call to an endpoint daemon.
  *
  * @param state - request with its place
+ * @param request - call of the caller
  * @param place - chosen endpoint
  * @param nonce - nonce of a call that runs at most once, else null
  * @param inputs - clock
@@ -59,11 +60,12 @@
  */
 export const buildCallEffects = (
   state: CallState | KeyedState,
+  request: ServiceRequest,
   place: Placed,
   nonce: string | null,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
-  const { request, policy } = state;
+  const { policy } = state;
   const attempt = state.attempts;
   return [
     {
@@ -129,7 +131,7 @@
       return toStep<CallState, EntryEffect>(
         next,
         ...result.effects,
-        ...buildCallEffects(next, result.place, null, inputs),
+        ...buildCallEffects(next, next.request, result.place, null, inputs),
       );
     }
     default:
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -45,6 +45,7 @@
   readonly deadlineMs: Millis;
   readonly fingerprint: string;
   readonly promptTokens: number;
+  readonly nonce: string | null;
   readonly body: Uint8Array;
 }
 
@@ -86,6 +87,8 @@
       readonly kind: 'generation-finished';
       readonly chunkCount: number;
       readonly usage: string;
+      /** Digest of the answer of a generation that must run at most once, else empty. */
+      readonly digest: string;
     } & LinkKey)
   | ({ readonly kind: 'generation-failed'; readonly failure: Failure } & LinkKey)
   /** The link broke; `unsent` proves that the request never left this process. */
@@ -200,8 +203,8 @@
         return 'open';
       }
       case 'finished': {
-        const { chunkCount, usage } = event.value;
-        post({ kind: 'generation-finished', ...key, chunkCount, usage });
+        const { chunkCount, usage, digest } = event.value;
+        post({ kind: 'generation-finished', ...key, chunkCount, usage, digest });
         return 'ended';
       }
       case 'failed':
@@ -242,6 +245,7 @@
         entry,
         stream: requestId,
         link,
+        nonce: open.nonce ?? '',
       });
       const events = connect(open.url).generate(message, { signal: controller.signal });
       for await (const event of events) {
--- /dev/null
+++ b/packages/entry/requests/fenceResults.ts
@@ -0,0 +1,44 @@
+import { createHash } from 'node:crypto';
+import type { FenceAnswer } from './endpointClient.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { FenceResult, StoredAnswer } from '../../decisions/idempotency/types.js';
+import type { ServiceAnswer } from '../types.js';
+
+/**
+ * Adds the digest to an answer.
+ *
+ * @param answer - answer of the endpoint
+ * @returns the answer for the intent
+ */
+export const toStored = (answer: ServiceAnswer): StoredAnswer => ({
+  ...answer,
+  bodyDigest: createHash('sha256').update(answer.body).digest('base64url'),
+});
+
+/**
+ * Reads the reply of an endpoint daemon to a fence.
+ *
+ * @param answer - reply as the adapter received it
+ * @returns the reply for the intent
+ */
+export const toFenceResult = (answer: FenceAnswer): FenceResult => {
+  switch (answer.kind) {
+    case 'fenced':
+    case 'started':
+    case 'unknown-incarnation':
+      return { kind: answer.kind };
+    case 'unreachable':
+      return { kind: 'unreachable' };
+    case 'finished': {
+      const stored = answer.answer === null ? null : toStored(answer.answer);
+      return {
+        kind: 'finished',
+        answer: stored,
+        status: stored?.status ?? null,
+        bodyDigest: stored?.bodyDigest ?? null,
+      };
+    }
+    default:
+      return assertNever(answer);
+  }
+};
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -8,12 +8,15 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestsInputs } from './inputs.js';
+import { measureChunks, toDeliveryEvent } from './links.js';
+import type { LinkCompletion } from './links.js';
 import { selectPlace } from './placing.js';
 import { addSuccess, decideNextAttempt } from './retrying.js';
 import type { ClassPolicy, GenerationState, Placed } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { GenerationId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { decideDelivery, initDelivery, resumeDelivery } from '../../decisions/streams/delivery.js';
@@ -24,19 +27,9 @@
 } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
 import type { GenerationRequest, ResumeRequest } from '../types.js';
-import type { EndpointCompletion } from './endpointClient.js';
 
 type GenerationStep = RequestStep;
 
-/** Completions that belong to a link of a generation. */
-export type LinkCompletion = Extract<
-  EndpointCompletion,
-  {
-    readonly kind:
-      'link-opened' | 'chunks-received' | 'generation-finished' | 'generation-failed' | 'link-lost';
-  }
->;
-
 /**
  * Creates the state of a new generation.
  *
@@ -71,6 +64,7 @@
   state: GenerationState,
   place: Placed,
   generationId: GenerationId,
+  nonce: string | null,
   inputs: RequestsInputs,
 ): EntryEffect => {
   const { request, policy } = state;
@@ -92,11 +86,55 @@
       deadlineMs: state.deadlineAt - inputs.now(),
       fingerprint: request.fingerprint,
       promptTokens: request.promptTokens,
+      nonce,
       body: request.body,
     },
   };
 };
 
+/**
+ * Starts a generation at a chosen endpoint.
+ *
+ * @param state - generation without a place
+ * @param place - chosen endpoint
+ * @param generationId - fresh id
+ * @param nonce - nonce of a generation that runs at most once, else null
+ * @param inputs - clock
+ * @returns the step that opens the link
+ */
+export const startGenerationAt = (
+  state: GenerationState,
+  place: Placed,
+  generationId: GenerationId,
+  nonce: string | null,
+  inputs: RequestsInputs,
+): Step<GenerationState, EntryEffect> => {
+  const { endpoint, incarnation } = place;
+  const source: GenerationSource = { generationId, endpoint, incarnation };
+  const step = decideDelivery(state.delivery, { kind: 'attempt-started', source });
+  const next: GenerationState = {
+    ...state,
+    place,
+    waiting: 'no',
+    attempts: state.attempts + 1,
+    delivery: step.state,
+  };
+  return toStep<GenerationState, EntryEffect>(
+    next,
+    {
+      kind: 'log',
+      name: 'attempt-started',
+      details: {
+        requestId: state.request.requestId,
+        endpoint,
+        sent: `${generationId}/0`,
+        data: { generationId, attempt: next.attempts, ...(nonce === null ? {} : { nonce }) },
+      },
+    },
+    openStart(next, place, generationId, nonce, inputs),
+  );
+};
+
 /**
  * Tries to place a generation and starts it there.
  *
@@ -118,36 +156,8 @@
     case 'fail':
       return failRequest(state, result.failure, inputs);
     case 'placed': {
-      const { place } = result;
-      const generationId = inputs.createId();
-      const source: GenerationSource = {
-        generationId,
-        endpoint: place.endpoint,
-        incarnation: place.incarnation,
-      };
-      const step = decideDelivery(state.delivery, { kind: 'attempt-started', source });
-      const next: GenerationState = {
-        ...state,
-        place,
-        waiting: 'no',
-        attempts: state.attempts + 1,
-        delivery: step.state,
-      };
-      return toStep<GenerationState, EntryEffect>(
-        next,
-        ...result.effects,
-        {
-          kind: 'log',
-          name: 'attempt-started',
-          details: {
-            requestId: state.request.requestId,
-            endpoint: place.endpoint,
-            sent: `${generationId}/0`,
-            data: { generationId, attempt: next.attempts },
-          },
-        },
-        openStart(next, place, generationId, inputs),
-      );
+      const step = startGenerationAt(state, result.place, inputs.createId(), null, inputs);
+      return toStep<GenerationState, EntryEffect>(step.state, ...result.effects, ...step.effects);
     }
     default:
       return assertNever(result);
@@ -227,6 +237,7 @@
       deadlineMs: state.deadlineAt - inputs.now(),
       fingerprint: request.fingerprint,
       promptTokens: 0,
+      nonce: null,
       body: new Uint8Array(),
     },
   };
@@ -281,7 +292,14 @@
   );
 };
 
-const closeLinkOf = (state: GenerationState, source: GenerationSource): EntryEffect => ({
+/**
+ * Stops reading the generation; it goes on at the endpoint daemon.
+ *
+ * @param state - generation
+ * @param source - where it runs
+ * @returns the effect
+ */
+export const closeLinkOf = (state: GenerationState, source: GenerationSource): EntryEffect => ({
   kind: 'close-link',
   generationId: source.generationId,
   link: state.delivery.link,
@@ -330,14 +348,22 @@
   for (const effect of effects) {
     const current = step.state ?? state;
     if (current.kind !== 'generation') break;
-    const next = applyEffect(current, effect, inputs);
+    const next = applyDeliveryEffect(current, effect, inputs);
     const over = step.state === null ? null : next.state;
     step = { state: over, effects: [...step.effects, ...next.effects] };
   }
   return step;
 };
 
-const applyEffect = (
+/**
+ * Carries out one effect of the delivery.
+ *
+ * @param state - generation
+ * @param effect - effect of its stream
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyDeliveryEffect = (
   state: GenerationState,
   effect: DeliveryEffect,
   inputs: RequestsInputs,
@@ -354,6 +380,7 @@
         source: effect.source,
         fromNumber: effect.fromNumber,
         chunks: effect.chunks,
+        pace: 'live',
       });
     case 'finish':
       return closeFinished(state, effect, inputs);
@@ -408,77 +435,6 @@
   return applyEffects({ ...state, delivery: step.state }, step.effects, inputs);
 };
 
-const toDeliveryEvent = (
-  state: GenerationState,
-  completion: LinkCompletion,
-  inputs: RequestsInputs,
-): DeliveryEvent => {
-  const { generationId, link } = completion;
-  const now = inputs.now();
-  switch (completion.kind) {
-    case 'link-opened':
-      return { kind: 'link-opened', generationId, link };
-    case 'chunks-received': {
-      const { firstNumber, choices } = completion;
-      return { kind: 'chunks', generationId, link, firstNumber, chunks: choices, now };
-    }
-    case 'generation-finished': {
-      const { chunkCount, usage } = completion;
-      return { kind: 'finished', generationId, link, chunkCount, usage, now };
-    }
-    case 'generation-failed':
-      return { kind: 'failed', generationId, link, failure: completion.failure };
-    case 'link-lost': {
-      const isUnsent = completion.sent === 'unsent' && link === 0 && state.delivery.next === 0;
-      if (!isUnsent) return { kind: 'link-lost', generationId, link, now };
-      const failure = createFailure('not-run', 'endpoint-lost', completion.reason);
-      return { kind: 'failed', generationId, link, failure };
-    }
-    default:
-      return assertNever(completion);
-  }
-};
-
-/** Latencies of the chunks that arrived, and a stall if the gap before them was long. */
-const measureChunks = (
-  state: GenerationState,
-  count: number,
-  inputs: RequestsInputs,
-): { readonly state: GenerationState; readonly effects: readonly EntryEffect[] } => {
-  const now = inputs.now();
-  const { className, stallMs } = state.policy;
-  const next = { ...state, firstChunkAt: state.firstChunkAt ?? now, lastChunkAt: now };
-  inputs.own.updateProgress(state.request.requestId, state.delivery.next + count);
-  if (state.lastChunkAt === null) {
-    const duration = now - state.request.receivedAt;
-    return {
-      state: next,
-      effects: [{ kind: 'record-latency', name: 'first_token_ms', className, duration }],
-    };
-  }
-  const gap = now - state.lastChunkAt;
-  const measured: EntryEffect = {
-    kind: 'record-latency',
-    name: 'token_gap_ms',
-    className,
-    duration: gap,
-  };
-  if (gap < stallMs) return { state: next, effects: [measured] };
-  const stalled: EntryEffect = {
-    kind: 'log',
-    name: 'stream-stalled',
-    details: {
-      requestId: state.request.requestId,
-      ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
-      data: {
-        stallMs: Math.round(gap),
-        cause: state.delivery.trouble === null ? 'engine' : 'link',
-      },
-    },
-  };
-  return { state: next, effects: [measured, stalled] };
-};
-
 /**
  * Applies a completion of a link.
  *
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -1,8 +1,15 @@
-import { createHash } from 'node:crypto';
 import { buildCallEffects, sendAnswer } from './call.js';
 import type { CallCompletion } from './call.js';
-import type { FenceAnswer } from './endpointClient.js';
+import { toStored } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
+import {
+  applyKeyedDelivery,
+  applyKeyedLink,
+  replayGeneration,
+  startKeyedStream,
+} from './keyedStream.js';
+import type { StreamStep } from './keyedStream.js';
+import type { LinkCompletion } from './links.js';
 import {
   failRequest,
   holdRequest,
@@ -20,17 +27,16 @@
 import { createIntentState, decideIntent } from '../../decisions/idempotency/intent.js';
 import type {
   DispatchResult,
-  FenceResult,
   IntentEffect,
   IntentEvent,
   IntentView,
-  StoredAnswer,
 } from '../../decisions/idempotency/types.js';
+import type { DeliveryEvent } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
-import type { ServiceAnswer, ServiceRequest } from '../types.js';
+import type { GenerationRequest, ServiceRequest } from '../types.js';
 
 /**
- * Creates the state of a call that runs at most once.
+ * Creates the state of a request that runs at most once.
  *
  * @param request - request of the caller
  * @param policy - policy of its class
@@ -38,7 +44,7 @@
  * @returns the state before the `start` event
  */
 export const createKeyed = (
-  request: ServiceRequest,
+  request: ServiceRequest | GenerationRequest,
   policy: ClassPolicy,
   inputs: RequestsInputs,
 ): KeyedState => {
@@ -58,6 +64,8 @@
     place: null,
     waiting: 'no',
     lastFailureText: '',
+    stream: null,
+    caller: 'waiting',
     intent: createIntentState({
       requestId: request.requestId,
       entry: inputs.process,
@@ -84,11 +92,6 @@
   };
 };
 
-const toStored = (answer: ServiceAnswer): StoredAnswer => ({
-  ...answer,
-  bodyDigest: createHash('sha256').update(answer.body).digest('base64url'),
-});
-
 /**
  * Tries to find an endpoint for the next intent.
  *
@@ -143,11 +146,19 @@
     name: 'intent-active',
     details: { requestId: state.request.requestId, data: { nonce: effect.nonce } },
   };
-  return toStep<KeyedState, EntryEffect>(
-    next,
-    active,
-    ...buildCallEffects(next, place, effect.nonce, inputs),
-  );
+  const { request } = state;
+  switch (request.kind) {
+    case 'service': {
+      const calls = buildCallEffects(next, request, place, effect.nonce, inputs);
+      return toStep<KeyedState, EntryEffect>(next, active, ...calls);
+    }
+    case 'generation': {
+      const step = startKeyedStream(next, request, place, effect.nonce, inputs);
+      return toStep<KeyedState, EntryEffect>(step.state, active, ...step.effects);
+    }
+    default:
+      return assertNever(request);
+  }
 };
 
 const fence = (
@@ -201,12 +212,30 @@
   return toStep<KeyedState, EntryEffect>(state, ...logged, ...appends);
 };
 
+const replyToCaller = (
+  state: KeyedState,
+  effect: Extract<IntentEffect, { readonly kind: 'answer' }>,
+  inputs: RequestsInputs,
+): readonly EntryEffect[] => {
+  const { request } = state;
+  const { requestId } = request;
+  const replayed: EntryEffect = { kind: 'log', name: 'key-replayed', details: { requestId } };
+  const { status, headers, body } = effect.answer;
+  const effects =
+    request.kind === 'generation'
+      ? replayGeneration(state, request, effect.answer, effect.place, inputs)
+      : sendAnswer(state, { status, headers, body }, inputs).effects;
+  return effect.source === 'stored' ? [replayed, ...effects] : effects;
+};
+
 const applyIntentEffect = (
   state: KeyedState,
   effect: IntentEffect,
   inputs: RequestsInputs,
 ): RequestStep => {
   const { requestId } = state.request;
+  const isServed = state.caller === 'served';
+  const served: KeyedState = { ...state, caller: 'served' };
   switch (effect.kind) {
     case 'choose-endpoint': {
       releaseAttempt(state, 'refused', inputs);
@@ -224,18 +253,19 @@
       return dispatch(state, effect, inputs);
     case 'fence':
       return fence(state, effect, inputs);
-    case 'answer': {
-      const { status, headers, body } = effect.answer;
-      const replayed: EntryEffect = { kind: 'log', name: 'key-replayed', details: { requestId } };
-      const step = sendAnswer(state, { status, headers, body }, inputs);
-      // The outcome record is still to be appended, so the request lives on without its caller.
-      const effects = effect.source === 'stored' ? [replayed, ...step.effects] : step.effects;
-      return { state, effects };
-    }
+    // The outcome record is still to be appended, so the request lives on without its caller.
+    case 'answer':
+      return { state: served, effects: isServed ? [] : replyToCaller(state, effect, inputs) };
     case 'answer-digest':
-      return { ...failWithDigest(state, effect, inputs), state };
+      return {
+        state: served,
+        effects: isServed ? [] : failWithDigest(state, effect, inputs).effects,
+      };
     case 'fail':
-      return { ...failRequest(state, effect.failure, inputs), state };
+      return {
+        state: served,
+        effects: isServed ? [] : failRequest(state, effect.failure, inputs).effects,
+      };
     case 'schedule': {
       const { timer, round, delayMs } = effect;
       const event = { to: 'requests', kind: 'intent-timer', requestId, timer, round } as const;
@@ -306,30 +336,43 @@
   return { state: step.state, effects: [...ended, ...step.effects] };
 };
 
+const applyStreamStep = (
+  state: KeyedState,
+  step: StreamStep,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const { intent } = state;
+  if (step.ended === null || intent.kind !== 'dispatched') return step;
+  const { nonce } = intent.place;
+  const ended = { kind: 'dispatch-ended', nonce, result: step.ended } as const;
+  const next = applyIntent(step.state, ended, inputs);
+  return { state: next.state, effects: [...step.effects, ...next.effects] };
+};
+
 /**
- * Reads the reply of an endpoint daemon to a fence.
+ * Applies a completion of the link to a generation that runs at most once.
  *
- * @param answer - reply as the adapter received it
- * @returns the reply for the intent
+ * @param state - keyed request
+ * @param completion - what arrived from the endpoint daemon
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
  */
-export const toFenceResult = (answer: FenceAnswer): FenceResult => {
-  switch (answer.kind) {
-    case 'fenced':
-    case 'started':
-    case 'unknown-incarnation':
-      return { kind: answer.kind };
-    case 'unreachable':
-      return { kind: 'unreachable' };
-    case 'finished': {
-      const stored = answer.answer === null ? null : toStored(answer.answer);
-      return {
-        kind: 'finished',
-        answer: stored,
-        status: stored?.status ?? null,
-        bodyDigest: stored?.bodyDigest ?? null,
-      };
-    }
-    default:
-      return assertNever(answer);
-  }
-};
+export const applyKeyedLinkCompletion = (
+  state: KeyedState,
+  completion: LinkCompletion,
+  inputs: RequestsInputs,
+): RequestStep => applyStreamStep(state, applyKeyedLink(state, completion, inputs), inputs);
+
+/**
+ * Applies another event of the stream of a generation that runs at most once.
+ *
+ * @param state - keyed request
+ * @param event - event of its stream
+ * @param inputs - endpoints and estimates
+ * @returns the step of the request
+ */
+export const applyKeyedStreamEvent = (
+  state: KeyedState,
+  event: DeliveryEvent,
+  inputs: RequestsInputs,
+): RequestStep => applyStreamStep(state, applyKeyedDelivery(state, event, inputs), inputs);
--- /dev/null
+++ b/packages/entry/requests/keyedStream.ts
@@ -0,0 +1,244 @@
+import {
+  applyDeliveryEffect,
+  closeLinkOf,
+  createGeneration,
+  startGenerationAt,
+} from './generation.js';
+import type { RequestsInputs } from './inputs.js';
+import { measureChunks, toDeliveryEvent } from './links.js';
+import type { LinkCompletion } from './links.js';
+import {
+  failRequest,
+  logAttemptEnd,
+  releaseAttempt,
+  reportCrash,
+  toAttemptOutcome,
+} from './outcomes.js';
+import type { GenerationState, KeyedState, Placed } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type {
+  DispatchResult,
+  NoncePlace,
+  StoredAnswer,
+} from '../../decisions/idempotency/types.js';
+import { decideDelivery } from '../../decisions/streams/delivery.js';
+import type { DeliveryEffect, DeliveryEvent } from '../../decisions/streams/types.js';
+import { decodeStoredGeneration } from '../../wire/storedGeneration.js';
+import type { EntryEffect } from '../events.js';
+import type { GenerationRequest } from '../types.js';
+
+/** Step of the stream of a generation that runs at most once. */
+export interface StreamStep extends Step<KeyedState, EntryEffect> {
+  /** How the dispatch ended; null while the stream goes on. */
+  readonly ended: DispatchResult | null;
+}
+
+const STATUS_OK = 200;
+
+/**
+ * Starts the generation of a dispatched nonce, whose id is the nonce.
+ *
+ * @param state - keyed request
+ * @param request - its generation
+ * @param place - endpoint of the intent
+ * @param nonce - nonce that was read back as active
+ * @param inputs - clock
+ * @returns the step that opens the link
+ */
+export const startKeyedStream = (
+  state: KeyedState,
+  request: GenerationRequest,
+  place: Placed,
+  nonce: string,
+  inputs: RequestsInputs,
+): Step<KeyedState, EntryEffect> => {
+  const { policy, deadlineAt, attempts } = state;
+  const fresh = createGeneration(request, policy, inputs);
+  // The start counts the attempt again.
+  const generation = { ...fresh, deadlineAt, attempts: attempts - 1 };
+  const step = startGenerationAt(generation, place, nonce, nonce, inputs);
+  return toStep({ ...state, stream: step.state }, ...step.effects);
+};
+
+const toEnd = (failure: Failure): DispatchResult => ({
+  kind: failure.verdict === 'not-run' ? 'refused' : 'unknown',
+  failure,
+});
+
+const toAnswered = (digest: string): DispatchResult => ({
+  kind: 'answered',
+  // The answer was written chunk by chunk; only its digest is recorded.
+  answer: { status: STATUS_OK, headers: [], body: new Uint8Array(), bodyDigest: digest },
+});
+
+const MOVED = createFailure('may-have-run', 'stream-lost', 'the caller went on elsewhere');
+
+interface EffectStep {
+  readonly effects: readonly EntryEffect[];
+  readonly ended?: DispatchResult;
+  readonly caller?: KeyedState['caller'];
+}
+
+/** Effects of the stream; nothing here starts a second attempt or stops the first one. */
+const applyEffect = (
+  stream: GenerationState,
+  effect: DeliveryEffect,
+  digest: string,
+  inputs: RequestsInputs,
+): EffectStep => {
+  switch (effect.kind) {
+    case 'write-chunks':
+    case 'resume':
+    case 'schedule-resume':
+    case 'detach':
+      return { effects: applyDeliveryEffect(stream, effect, inputs).effects };
+    case 'finish': {
+      const { effects } = applyDeliveryEffect(stream, effect, inputs);
+      return { effects, ended: toAnswered(digest), caller: 'served' };
+    }
+    case 'fail': {
+      const { effects } = failRequest(stream, effect.failure, inputs);
+      return { effects, ended: toEnd(effect.failure), caller: 'served' };
+    }
+    case 'hand-over': {
+      releaseAttempt(stream, 'well', inputs);
+      const { effects } = applyDeliveryEffect(stream, effect, inputs);
+      return { effects, ended: toEnd(MOVED), caller: 'served' };
+    }
+    case 'restart-allowed': {
+      const { failure } = effect;
+      releaseAttempt(stream, toAttemptOutcome(failure), inputs);
+      return { effects: [logAttemptEnd(stream, failure)], ended: toEnd(failure) };
+    }
+    // The generation goes on: its caller may ask for the answer by its key.
+    case 'cancel-generation':
+      return { effects: [closeLinkOf(stream, effect.source)] };
+    default:
+      return assertNever(effect);
+  }
+};
+
+const applyEvent = (
+  state: KeyedState,
+  stream: GenerationState,
+  event: DeliveryEvent,
+  digest: string,
+  inputs: RequestsInputs,
+): StreamStep => {
+  const step = decideDelivery(stream.delivery, event);
+  const next: GenerationState = { ...stream, delivery: step.state };
+  let ended: DispatchResult | null = null;
+  let { caller } = state;
+  const effects: EntryEffect[] = [];
+  for (const effect of step.effects) {
+    const done = applyEffect(next, effect, digest, inputs);
+    effects.push(...done.effects);
+    ended = done.ended ?? ended;
+    caller = done.caller ?? caller;
+  }
+  return { state: { ...state, caller, stream: ended === null ? next : null }, effects, ended };
+};
+
+/**
+ * Applies an event of the stream that does not come from its link.
+ *
+ * @param state - keyed request
+ * @param event - event of its stream
+ * @param inputs - endpoints and estimates
+ * @returns the step, with the end of the dispatch if there is one
+ */
+export const applyKeyedDelivery = (
+  state: KeyedState,
+  event: DeliveryEvent,
+  inputs: RequestsInputs,
+): StreamStep =>
+  state.stream === null
+    ? { state, effects: [], ended: null }
+    : applyEvent(state, state.stream, event, '', inputs);
+
+/**
+ * Applies a completion of the stream's link.
+ *
+ * @param state - keyed request
+ * @param completion - what arrived from the endpoint daemon
+ * @param inputs - endpoints and estimates
+ * @returns the step, with the end of the dispatch if there is one
+ */
+export const applyKeyedLink = (
+  state: KeyedState,
+  completion: LinkCompletion,
+  inputs: RequestsInputs,
+): StreamStep => {
+  const { stream } = state;
+  if (stream?.delivery.source?.generationId !== completion.generationId) {
+    return { state, effects: [], ended: null };
+  }
+  const measured =
+    completion.kind === 'chunks-received'
+      ? measureChunks(stream, completion.choices.length, inputs)
+      : { state: stream, effects: [] };
+  if (completion.kind === 'generation-failed') reportCrash(stream, completion.failure, inputs);
+  const digest = completion.kind === 'generation-finished' ? completion.digest : '';
+  const event = toDeliveryEvent(stream, completion, inputs);
+  const step = applyEvent(state, measured.state, event, digest, inputs);
+  return { ...step, effects: [...measured.effects, ...step.effects] };
+};
+
+/**
+ * Shows the stored answer of an earlier request under the key, in the form that this one asks for.
+ *
+ * @param state - keyed request whose caller waits
+ * @param request - its generation
+ * @param answer - answer as the endpoint daemon holds it
+ * @param place - nonce and endpoint of the generation
+ * @param inputs - own placements
+ * @returns effects that end the caller's request
+ */
+export const replayGeneration = (
+  state: KeyedState,
+  request: GenerationRequest,
+  answer: StoredAnswer,
+  place: NoncePlace,
+  inputs: RequestsInputs,
+): readonly EntryEffect[] => {
+  const { requestId, customer, model } = request;
+  const decoded = decodeStoredGeneration(answer.body);
+  if (decoded.isErr()) return failRequest(state, decoded.error, inputs).effects;
+  const stored = decoded.value;
+  switch (stored.kind) {
+    case 'failed':
+      return failRequest(state, stored.failure, inputs).effects;
+    case 'finished': {
+      const { nonce, endpoint, incarnation } = place;
+      releaseAttempt(state, 'well', inputs);
+      return [
+        {
+          kind: 'write-chunks',
+          requestId,
+          customer,
+          model,
+          source: { generationId: nonce, endpoint, incarnation },
+          fromNumber: 0,
+          chunks: stored.choices,
+          pace: 'stored',
+        },
+        { kind: 'finish-generation', requestId, usage: stored.usage },
+        {
+          kind: 'log',
+          name: 'request-finished',
+          details: {
+            requestId,
+            endpoint,
+            data: { chunks: stored.choices.length, class: state.policy.className },
+          },
+        },
+      ];
+    }
+    default:
+      return assertNever(stored);
+  }
+};
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -9,8 +9,15 @@
   placeGeneration,
   startResume,
 } from './generation.js';
+import { toFenceResult } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
-import { applyIntent, applyKeyedCompletion, createKeyed, toFenceResult } from './keyed.js';
+import {
+  applyIntent,
+  applyKeyedCompletion,
+  applyKeyedLinkCompletion,
+  applyKeyedStreamEvent,
+  createKeyed,
+} from './keyed.js';
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import {
@@ -31,6 +38,7 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { DEFAULT_QUEUE_SETTINGS } from '../../decisions/fairness/constants.js';
+import type { DeliveryEvent } from '../../decisions/streams/types.js';
 import type { EntryEffect, RequestsEvent } from '../events.js';
 import type { CallerRequest } from '../types.js';
 
@@ -68,7 +76,11 @@
 ): RequestStep => {
   switch (request.kind) {
     case 'generation':
-      return placeGeneration(createGeneration(request, policy, inputs), inputs);
+      // Without a key a request that is sent again is not recognised, and one attempt that may have
+      // run is never followed by another, so that an intent would add nothing.
+      return policy.repeat === 'never' && request.key !== null
+        ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
+        : placeGeneration(createGeneration(request, policy, inputs), inputs);
     case 'resume':
       return startResume(request, policy, inputs);
     case 'service':
@@ -114,8 +126,9 @@
     case 'generation-finished':
     case 'generation-failed':
     case 'link-lost':
-      return known.kind === 'generation'
-        ? applyCompletion(known, completion, inputs)
+      if (known.kind === 'generation') return applyCompletion(known, completion, inputs);
+      return known.kind === 'keyed'
+        ? applyKeyedLinkCompletion(known, completion, inputs)
         : toStep(known);
     case 'call-answered':
     case 'call-failed':
@@ -172,19 +185,35 @@
     now: inputs.now(),
   });
   return updateAll(context, (known) =>
-    known.kind === 'generation' && known.place?.endpoint === endpoint
-      ? applyDelivery(known, { kind: 'endpoint-gone', endpoint, incarnation }, inputs)
+    known.place?.endpoint === endpoint
+      ? applyStreamEvent(known, { kind: 'endpoint-gone', endpoint, incarnation }, inputs)
       : null,
   );
 };
 
+/** Applies an event to the stream of a request; null for a request without one. */
+const applyStreamEvent = (
+  known: RequestState,
+  event: DeliveryEvent,
+  inputs: RequestsInputs,
+): RequestStep | null => {
+  switch (known.kind) {
+    case 'generation':
+      return applyDelivery(known, event, inputs);
+    case 'keyed':
+      return known.stream === null ? null : applyKeyedStreamEvent(known, event, inputs);
+    case 'call':
+      return null;
+    default:
+      return assertNever(known);
+  }
+};
+
 /** Hands the running streams over to other entry daemons, through their callers. */
 const transferStreams = (context: RequestsContext): Effects => {
   context.state.phase = 'handing-over';
   return updateAll(context, (known) =>
-    known.kind === 'generation'
-      ? applyDelivery(known, { kind: 'drain-ended' }, context.inputs)
-      : null,
+    applyStreamEvent(known, { kind: 'drain-ended' }, context.inputs),
   );
 };
 
@@ -221,8 +250,10 @@
     case 'resume-due': {
       const { requestId, generationId, link } = event;
       const due = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
-      return updateRequest(context, requestId, (known) =>
-        known.kind === 'generation' ? applyDelivery(known, due, inputs) : toStep(known),
+      return updateRequest(
+        context,
+        requestId,
+        (known) => applyStreamEvent(known, due, inputs) ?? toStep(known),
       );
     }
     case 'intent-timer': {
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -56,12 +56,16 @@
   readonly request: ServiceRequest;
 }
 
-/** A call that runs at most once. */
+/** A request that runs at most once. */
 export interface KeyedState extends RequestBase {
   readonly kind: 'keyed';
-  readonly request: ServiceRequest;
+  readonly request: ServiceRequest | GenerationRequest;
   readonly key: string;
   readonly intent: IntentState;
+  /** Stream of a dispatched generation; null before the dispatch, after it and for calls. */
+  readonly stream: GenerationState | null;
+  /** `served` once the caller has its answer or failure and only records are left. */
+  readonly caller: 'waiting' | 'served';
 }
 
 export type RequestState = GenerationState | CallState | KeyedState;
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -41,6 +41,8 @@
   readonly prefix: string;
   /** JSON body for the engine. */
   readonly body: Uint8Array;
+  readonly key: string | null;
+  readonly keyIssuedAt: Millis | null;
 }
 
 /** A caller that goes on with a stream after it lost its connection. */
