Let the author of a move's end notify operators, with take-over

Cause: every entry daemon called the webhook when a move ended, and again after each of its restarts.

Change: the daemon whose append of the terminal record was accepted sends the notice and then appends move-notified, which closes it at all daemons. One that has not read this record 15 to 45 s after the end sends the notice itself. The id names the terminal record, so a receiver can drop repetitions.

Conclusion: operators get each end at least once, and once in the usual case. After an upgrade, ends that were notified without a record are told once more.

--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -54,6 +54,7 @@
     models: [...models],
     ...(options.policy === undefined ? {} : { policy: options.policy }),
     ...(options.limits === undefined ? {} : { limits: options.limits }),
+    ...(options.webhookUrl === undefined ? {} : { webhookUrl: options.webhookUrl }),
     drainMs: options.drainMs ?? CLUSTER_DRAIN_MS,
     log: { format: options.logFormat ?? 'json' },
   };
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -61,6 +61,8 @@
   readonly limits?: EntryFile['limits'];
   readonly platform?: Pick<PlatformOptions, 'appendsPerSecond' | 'retentionRecords' | 'listLagMs'>;
   readonly drainMs?: Millis;
+  /** Receiver of the notifications for operators. */
+  readonly webhookUrl?: string;
   /** Port of the balancer on 127.0.0.1; 0 takes a free one. */
   readonly port?: number;
   readonly logFormat?: 'json' | 'text';
--- a/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
+++ b/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
@@ -16,7 +16,15 @@
 const anyAction: fc.Arbitrary<SimulationAction> = fc.record({
   kind: fc.constantFrom(
     ...(['propose', 'propose', 'append', 'append', 'append', 'append', 'read', 'read'] as const),
-    ...(['deliver', 'deliver', 'deliver', 'heartbeat', 'heartbeat', 'end-move'] as const),
+    ...([
+      'deliver',
+      'deliver',
+      'deliver',
+      'heartbeat',
+      'heartbeat',
+      'end-move',
+      'notify-move',
+    ] as const),
     ...(['plan-snapshot', 'retain', 'restart', 'outage', 'ask-peer'] as const),
     ...(['quarantine', 'later-format'] as const),
   ),
--- a/packages/decisions/configuration/configurationSimulation.fixture.ts
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -24,6 +24,7 @@
   | 'propose'
   | 'quarantine'
   | 'end-move'
+  | 'notify-move'
   | 'later-format'
   | 'plan-snapshot'
   | 'append'
@@ -84,7 +85,13 @@
   deadlineMs: 60_000,
 };
 
-const buildBody = (kind: EntityKind, entity: string, pick: number, now: number): object => {
+const buildBody = (
+  kind: EntityKind,
+  entity: string,
+  pick: number,
+  now: number,
+  endedAt: number,
+): object => {
   switch (kind) {
     case 'targets':
       return { classes: [{ ...TARGET_CLASS, firstTokenMs: 1 + pick }] };
@@ -101,6 +108,8 @@
       };
     case 'move-ended':
       return { outcome: pick % 2 === 0 ? 'done' : 'taken-back', reason: 'test' };
+    case 'move-notified':
+      return { endedAt };
     case 'quarantine':
       return { expiresAt: pick % 2 === 0 ? now + 10 + (pick % 20) : FAR_FUTURE + pick };
     default:
@@ -113,6 +122,7 @@
   const seen = pickOf(listRole(world, 'entry'), pick)?.state;
   if (seen === undefined || seen.standing !== 'exact') return;
   const known = seen.entities.get(`${kind}\u0000${entity}`);
+  const endedAt = seen.entities.get(`move-ended\u0000${entity}`)?.offset ?? 0;
   world.pending.push({
     kind,
     format: 1,
@@ -120,7 +130,7 @@
     nonce: `nonce-${world.now.toString()}`,
     entity,
     basedOn: known?.offset ?? null,
-    body: buildBody(kind, entity, pick, world.now),
+    body: buildBody(kind, entity, pick, world.now, endedAt),
   });
 };
 
@@ -231,6 +241,8 @@
       return addProposal(world, 'quarantine', 'fingerprint', pick);
     case 'end-move':
       return addProposal(world, 'move-ended', 'to-v2', pick);
+    case 'notify-move':
+      return addProposal(world, 'move-notified', 'to-v2', pick);
     case 'later-format':
       world.pending.push({ kind: 'targets', format: 2, shape: 'unknown' });
       return;
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -83,6 +83,19 @@
     ? toWinner(known)
     : null;
 
+/** A record of another end than the one in force says nothing about the move as it is now. */
+const checkNotified = (
+  entities: Entities,
+  known: EntityEntry | undefined,
+  record: EntityRecord & { readonly kind: 'move-notified' },
+): Winner | 'no-end' | null => {
+  const { endedAt } = record.body;
+  const ended = entities.get(formatEntityKey('move-ended', record.entity));
+  if (ended?.offset !== endedAt) return 'no-end';
+  const isKnown = known?.kind === 'move-notified' && known.body.endedAt === endedAt;
+  return isKnown ? toWinner(known) : null;
+};
+
 const checkBase = (entities: Entities, record: EntityRecord): 'matches' | 'differs' => {
   const known = entities.get(formatEntityKey(record.kind, record.entity));
   return (known?.offset ?? null) === record.basedOn ? 'matches' : 'differs';
@@ -112,6 +125,11 @@
       if (winner === 'no-move') return { kind: 'void', winner: null };
       return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
     }
+    case 'move-notified': {
+      const winner = checkNotified(entities, known, record);
+      if (winner === 'no-end') return { kind: 'void', winner: null };
+      return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
+    }
     // Every daemon that sees the second crash appends one; a later expiry prolongs the first.
     case 'quarantine': {
       const longer = checkQuarantine(known, record);
--- a/packages/decisions/configuration/records.ts
+++ b/packages/decisions/configuration/records.ts
@@ -56,6 +56,10 @@
     kind: z.literal('move-ended'),
     body: z.strictObject({ outcome: z.enum(['done', 'taken-back']), reason: z.string() }),
   }),
+  z.object({
+    kind: z.literal('move-notified'),
+    body: z.strictObject({ endedAt: offset }),
+  }),
   z.object({ kind: z.literal('quarantine'), body: z.strictObject({ expiresAt: z.number() }) }),
 ]);
 
--- a/packages/decisions/configuration/referenceFold.fixture.ts
+++ b/packages/decisions/configuration/referenceFold.fixture.ts
@@ -11,7 +11,7 @@
   readonly entity: string;
   readonly offset: number;
   readonly author: string;
-  readonly body: { readonly expiresAt?: number };
+  readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
 interface PlainRecord {
@@ -20,7 +20,7 @@
   readonly entity: string;
   readonly author: string;
   readonly basedOn: number | null;
-  readonly body: { readonly expiresAt?: number };
+  readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
 type Table = Map<string, ReferenceEntry>;
@@ -39,6 +39,10 @@
     if (isEnded) return ended ?? null;
     return record.basedOn === (ended?.offset ?? null) ? null : move;
   }
+  if (record.kind === 'move-notified') {
+    if (ended === undefined || ended.offset !== record.body.endedAt) return 'unknown';
+    return own?.body.endedAt === record.body.endedAt ? (own ?? null) : null;
+  }
   if (record.kind === 'move' && own !== undefined && !isEnded) return own;
   if (record.basedOn === (own?.offset ?? null)) return null;
   return own ?? 'unknown';
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -35,6 +35,11 @@
   readonly reason: string;
 }
 
+export interface MoveNotifiedBody {
+  /** Offset of the terminal record that operators were notified of. */
+  readonly endedAt: Offset;
+}
+
 export interface QuarantineBody {
   readonly expiresAt: Millis;
 }
@@ -45,6 +50,7 @@
   | { readonly kind: 'data-centre'; readonly body: DataCentreBody }
   | { readonly kind: 'move'; readonly body: MoveBody }
   | { readonly kind: 'move-ended'; readonly body: MoveEndedBody }
+  | { readonly kind: 'move-notified'; readonly body: MoveNotifiedBody }
   | { readonly kind: 'quarantine'; readonly body: QuarantineBody };
 
 export type EntityKind = EntityContent['kind'];
@@ -138,8 +144,15 @@
   readonly quarantined: ReadonlyMap<string, Millis>;
 }
 
+export interface MoveEnd extends MoveEndedBody {
+  readonly offset: Offset;
+  readonly author: string;
+  /** Whether the log shows that operators were notified. */
+  readonly notice: 'open' | 'sent';
+}
+
 export interface MoveView extends MoveBody {
   readonly offset: Offset;
   /** Terminal record, the first one in log order. */
-  readonly ended: (MoveEndedBody & { readonly offset: Offset }) | null;
+  readonly ended: MoveEnd | null;
 }
--- a/packages/decisions/configuration/view.ts
+++ b/packages/decisions/configuration/view.ts
@@ -3,11 +3,10 @@
   ConfigurationState,
   ConfigurationView,
   EntityEntry,
-  MoveEndedBody,
+  MoveEnd,
   MoveView,
   PublishedClass,
 } from './types.js';
-import type { Offset } from '../../core/ids.js';
 
 type EntryOf<Kind extends EntityEntry['kind']> = Extract<EntityEntry, { readonly kind: Kind }>;
 
@@ -17,13 +16,13 @@
 ): readonly EntryOf<Kind>[] =>
   [...state.entities.values()].filter((entry): entry is EntryOf<Kind> => entry.kind === kind);
 
-const findEnd = (
-  state: ConfigurationState,
-  move: EntryOf<'move'>,
-): (MoveEndedBody & { readonly offset: Offset }) | null => {
+const findEnd = (state: ConfigurationState, move: EntryOf<'move'>): MoveEnd | null => {
   const ended = state.entities.get(formatEntityKey('move-ended', move.entity));
   if (ended?.kind !== 'move-ended' || ended.offset < move.offset) return null;
-  return { ...ended.body, offset: ended.offset };
+  const { offset, author } = ended;
+  const notified = state.entities.get(formatEntityKey('move-notified', move.entity));
+  const isSent = notified?.kind === 'move-notified' && notified.body.endedAt === offset;
+  return { ...ended.body, offset, author, notice: isSent ? 'sent' : 'open' };
 };
 
 const toMoveView = (state: ConfigurationState, move: EntryOf<'move'>): MoveView => ({
--- a/packages/decisions/moves/constants.ts
+++ b/packages/decisions/moves/constants.ts
@@ -73,3 +73,20 @@
 
 /** Largest share of recent answers by the old version with which the traffic counts as moved. */
 export const MOVED_OLD_SHARE = 0.05;
+
+/**
+ * Time after which another daemon sends a notice that the author of the terminal record has not
+ * recorded as sent. It covers one webhook call that times out after 5 s, its repetition and the
+ * append.
+ */
+export const NOTICE_TAKE_OVER_MS = 15_000;
+
+/** Interval over which the other daemons spread their take-over, so that the first one is alone. */
+export const NOTICE_SPREAD_MS = 30_000;
+
+/** Pause after a failed notice; each failure doubles it. */
+export const NOTICE_RETRY_FIRST_MS = 1_000;
+export const NOTICE_RETRY_MAX_MS = 60_000;
+
+/** Pause between two appends of the record that a notice was sent. */
+export const NOTICE_APPEND_AGAIN_MS = 5_000;
--- a/packages/entry/classify.ts
+++ b/packages/entry/classify.ts
@@ -18,6 +18,7 @@
     case 'endpoint-completed':
     case 'caller-gone':
     case 'append-ended':
+    case 'notice-ended':
     case 'read-ended':
     case 'read-failed':
     case 'request-received':
@@ -43,6 +44,7 @@
     case 'drain-ended':
     case 'record-posted':
     case 'records-folded':
+    case 'end-accepted':
     case 'operation-expired':
     case 'drain-started':
     case 'drain-checked':
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -197,6 +197,14 @@
       readonly kind: 'evidence-received';
       readonly heartbeat: ReceivedHeartbeat;
     }
+  /** The terminal record of an operator was appended through this daemon and is in force. */
+  | { readonly to: 'moves'; readonly kind: 'end-accepted'; readonly name: string }
+  | {
+      readonly to: 'moves';
+      readonly kind: 'notice-ended';
+      readonly id: string;
+      readonly result: 'sent' | 'failed';
+    }
   | { readonly to: 'moves'; readonly kind: 'tick' };
 
 export type FrontendEvent =
@@ -282,11 +290,18 @@
       readonly operationId: string;
       readonly outcome: OperatorOutcome;
     }
-  | { readonly kind: 'notify-operators'; readonly notice: OperatorNotice }
+  | {
+      readonly kind: 'notify-operators';
+      readonly notice: OperatorNotice;
+      /** Whether the result comes back as an event. */
+      readonly report: 'wanted' | 'none';
+    }
   | { readonly kind: 'end-process'; readonly left: number };
 
 /** What operators are told without having asked. */
 export interface OperatorNotice {
+  /** The same whichever daemon sends the notice, so that its receiver can drop repetitions. */
+  readonly id: string;
   readonly event: EventName;
   readonly entity: string;
   readonly at: Millis;
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -1,4 +1,6 @@
 import { TICK_MS } from './constants.js';
+import { buildNoticeEffects, toNoticeEvent } from './moveNotices.js';
+import type { NoticeInputs } from './moveNotices.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { ModelName, RequestId, VersionName } from '../../core/ids.js';
@@ -7,6 +9,8 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { MoveView } from '../../decisions/configuration/types.js';
 import { decideMove, getShare, initMove } from '../../decisions/moves/move.js';
+import { decideNotice } from '../../decisions/moves/notices.js';
+import type { NoticeEvent, NoticeState } from '../../decisions/moves/noticeTypes.js';
 import { chooseVersion } from '../../decisions/moves/share.js';
 import type {
   FaultFinding,
@@ -28,12 +32,10 @@
 /** Version moves by name. */
 export interface MovesState {
   readonly moves: ReadonlyMap<string, WatchedMove>;
+  readonly notices: NoticeState;
 }
 
-export interface MovesInputs {
-  readonly now: () => Millis;
-  readonly createId: () => string;
-  readonly process: string;
+export interface MovesInputs extends NoticeInputs {
   readonly listMoves: () => readonly MoveView[];
 }
 
@@ -51,14 +53,19 @@
 };
 
 const notify = (
-  event: 'move-done' | 'move-taken-back' | 'move-needs-operator' | 'move-stopped-locally',
-  entity: string,
+  event: 'move-needs-operator' | 'move-stopped-locally',
+  view: MoveView,
   detail: string,
   now: Millis,
-): readonly EntryEffect[] => [
-  { kind: 'log', name: event, details: { entity, data: { reason: detail } } },
-  { kind: 'notify-operators', notice: { event, entity, at: now, detail } },
-];
+): readonly EntryEffect[] => {
+  const { name: entity, offset } = view;
+  // Each daemon judges by its own evidence, so each one tells; the id is the same for all of them.
+  const id = `${event}/${entity}/${offset.toString()}`;
+  return [
+    { kind: 'log', name: event, details: { entity, data: { reason: detail } } },
+    { kind: 'notify-operators', notice: { id, event, entity, at: now, detail }, report: 'none' },
+  ];
+};
 
 const appendEnded = (
   move: WatchedMove,
@@ -100,12 +107,13 @@
     case 'append-ended':
       return [appendEnded(move, effect, inputs)];
     case 'stopped':
-      return notify('move-stopped-locally', name, describeFinding(effect.finding), now);
+      return notify('move-stopped-locally', move.view, describeFinding(effect.finding), now);
     case 'needs-operator':
-      return notify('move-needs-operator', name, effect.reason, now);
+      return notify('move-needs-operator', move.view, effect.reason, now);
     case 'ended': {
       const event = effect.outcome === 'done' ? 'move-done' : 'move-taken-back';
-      return notify(event, name, move.view.ended?.reason ?? '', now);
+      const reason = move.view.ended?.reason ?? '';
+      return [{ kind: 'log', name: event, details: { entity: name, data: { reason } } }];
     }
     default:
       return assertNever(effect);
@@ -128,7 +136,8 @@
   const reason = updateReason(move.reason, step.effects);
   const next: WatchedMove = { ...move, state: step.state, reason };
   const effects = step.effects.flatMap((effect) => toEntryEffects(next, effect, inputs));
-  return toStep({ moves: new Map(state.moves).set(move.view.name, next) }, ...effects);
+  const moves = new Map(state.moves).set(move.view.name, next);
+  return toStep({ ...state, moves }, ...effects);
 };
 
 const applyAll = (
@@ -152,7 +161,7 @@
   const now = inputs.now();
   if (known?.view.offset === view.offset) {
     const moves = new Map(state.moves).set(view.name, { ...known, view });
-    return toStep({ moves });
+    return toStep({ ...state, moves });
   }
   const { name, model, from, to, startedAt, deadline } = view;
   const move = { name, model, from, to, startedAt, deadline };
@@ -163,6 +172,40 @@
   return toStep(step.state, started, ...step.effects);
 };
 
+const applyNotice = (state: MovesState, event: NoticeEvent, inputs: MovesInputs): MovesStep => {
+  const step = decideNotice(state.notices, event);
+  const effects = step.effects.flatMap((effect) => buildNoticeEffects(effect, inputs));
+  return toStep({ ...state, notices: step.state }, ...effects);
+};
+
+/**
+ * A process that starts finds ends that it appended in an earlier life, and may be about to read
+ * that their notices were sent; only an end that it saw coming counts as its own.
+ */
+const toRole = (known: WatchedMove | undefined, view: MoveView, process: string) =>
+  known?.view.offset === view.offset && known.view.ended === null && view.ended?.author === process
+    ? 'author'
+    : 'other';
+
+const takeNotices = (before: MovesState, state: MovesState, inputs: MovesInputs): MovesStep => {
+  let step: MovesStep = toStep(state);
+  for (const view of inputs.listMoves()) {
+    const role = toRole(before.moves.get(view.name), view, inputs.process);
+    const event = toNoticeEvent(view, role, inputs);
+    if (event === null) continue;
+    const next = applyNotice(step.state, event, inputs);
+    step = { state: next.state, effects: [...step.effects, ...next.effects] };
+  }
+  return step;
+};
+
+/** An operator's record came through this daemon, so the notice of it is this daemon's as well. */
+const notifyOfEnd = (state: MovesState, name: string, inputs: MovesInputs): MovesStep => {
+  const view = inputs.listMoves().find((move) => move.name === name);
+  const event = view === undefined ? null : toNoticeEvent(view, 'author', inputs);
+  return event === null ? toStep(state) : applyNotice(state, event, inputs);
+};
+
 const takeConfiguration = (state: MovesState, inputs: MovesInputs): MovesStep => {
   let step: MovesStep = toStep(state);
   for (const view of inputs.listMoves()) {
@@ -182,7 +225,11 @@
           },
     inputs,
   );
-  return { state: ended.state, effects: [...step.effects, ...ended.effects] };
+  const noticed = takeNotices(state, ended.state, inputs);
+  return {
+    state: noticed.state,
+    effects: [...step.effects, ...ended.effects, ...noticed.effects],
+  };
 };
 
 const takeEvidence = (
@@ -240,7 +287,7 @@
 ): ChildLogic<MovesState, MovesEvent, EntryEffect> => ({
   init: () =>
     toStep<MovesState, EntryEffect>(
-      { moves: new Map() },
+      { moves: new Map(), notices: new Map() },
       { kind: 'post', event: { to: 'moves', kind: 'configuration-updated' } },
       { kind: 'schedule', delayMs: TICK_MS, event: { to: 'moves', kind: 'tick' } },
     ),
@@ -250,11 +297,18 @@
         return takeConfiguration(state, inputs);
       case 'evidence-received':
         return takeEvidence(state, event.heartbeat, inputs);
+      case 'end-accepted':
+        return notifyOfEnd(state, event.name, inputs);
+      case 'notice-ended': {
+        const { id, result } = event;
+        return applyNotice(state, { kind: result, id, now: inputs.now() }, inputs);
+      }
       case 'tick': {
         const now = inputs.now();
         const step = applyAll(state, () => ({ kind: 'tick', now }), inputs);
+        const noticed = applyNotice(step.state, { kind: 'tick', now }, inputs);
         const again: EntryEffect = { kind: 'schedule', delayMs: TICK_MS, event };
-        return toStep(step.state, ...step.effects, again);
+        return toStep(noticed.state, ...step.effects, ...noticed.effects, again);
       }
       default:
         return assertNever(event);
--- a/packages/entry/operator/operator.ts
+++ b/packages/entry/operator/operator.ts
@@ -149,7 +149,12 @@
     case 'in-force': {
       const { offset } = result.entry;
       const { kind, entity, author } = known;
+      const ends: readonly EntryEffect[] =
+        kind === 'move-ended'
+          ? [{ kind: 'post', event: { to: 'moves', kind: 'end-accepted', name: entity } }]
+          : [];
       return [
+        ...ends,
         replyWith(operationId, { kind: 'in-force', offset }),
         {
           kind: 'log',
--- a/packages/entry/operator/webhook.ts
+++ b/packages/entry/operator/webhook.ts
@@ -8,14 +8,14 @@
  *
  * @param url - address that takes notices as JSON, if any
  * @param events - log of sent and failed notices
- * @returns a function that sends one notice
+ * @returns a function that sends one notice and tells whether its receiver took it
  */
 export const createNotifier = (
   url: string | undefined,
   events: EventLog,
-): ((notice: OperatorNotice) => void) => {
-  const send = async (address: string, notice: OperatorNotice): Promise<void> => {
-    const { entity } = notice;
+): ((notice: OperatorNotice) => Promise<'sent' | 'failed' | 'no-address'>) => {
+  const send = async (address: string, notice: OperatorNotice): Promise<'sent' | 'failed'> => {
+    const { id, entity } = notice;
     try {
       const answer = await request(address, {
         method: 'POST',
@@ -25,13 +25,13 @@
       });
       await answer.body.dump();
       if (answer.statusCode >= 300) throw new Error(`status ${answer.statusCode.toString()}`);
-      events.record('notification-sent', { entity, data: { event: notice.event } });
+      events.record('notification-sent', { entity, data: { id, event: notice.event } });
+      return 'sent';
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      events.record('notification-failed', { entity, data: { event: notice.event, reason } });
+      events.record('notification-failed', { entity, data: { id, event: notice.event, reason } });
+      return 'failed';
     }
   };
-  return (notice) => {
-    if (url !== undefined) void send(url, notice);
-  };
+  return (notice) => (url === undefined ? Promise.resolve('no-address') : send(url, notice));
 };
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -21,7 +21,7 @@
   readonly platform: PlatformAdapter;
   readonly endpoints: EndpointClient;
   readonly replyOperator: (operationId: string, outcome: OperatorOutcome) => void;
-  readonly notifyOperators: (notice: OperatorNotice) => void;
+  readonly notifyOperators: (notice: OperatorNotice) => Promise<'sent' | 'failed' | 'no-address'>;
   readonly endProcess: (left: number) => void;
 }
 
@@ -57,6 +57,17 @@
   adapters.tickets.remove(requestId);
 };
 
+const sendNotice = (effect: EffectOf<'notify-operators'>, adapters: EntryAdapters): void => {
+  const { notice, report } = effect;
+  const sending = adapters.notifyOperators(notice);
+  if (report === 'none') return;
+  const { id } = notice;
+  void sending.then((result) => {
+    if (result === 'no-address') return;
+    adapters.loop().post({ to: 'moves', kind: 'notice-ended', id, result });
+  });
+};
+
 /**
  * Carries out one effect.
  *
@@ -132,7 +143,7 @@
       adapters.replyOperator(effect.operationId, effect.outcome);
       return;
     case 'notify-operators':
-      adapters.notifyOperators(effect.notice);
+      sendNotice(effect, adapters);
       return;
     case 'end-process':
       adapters.endProcess(effect.left);
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -172,6 +172,8 @@
       now,
       createId,
       process: settings.process,
+      webhook: settings.webhookUrl === undefined ? 'none' : 'set',
+      hash: hashText,
       listMoves: () => states.control.view.moves,
     }),
     operator: createOperatorLogic({ getConfiguration: () => states.control.configuration }),
