--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -53,6 +53,7 @@
  * Builds the effects that send a call to an endpoint daemon.
  *
  * @param state - request with its place
+ * @param request - call of the caller
  * @param place - chosen endpoint
  * @param nonce - nonce of a call that runs at most once, else null
  * @param inputs - clock
@@ -60,11 +61,12 @@
  */
 export const buildCallEffects = (
   state: CallState | KeyedState,
+  request: ServiceRequest,
   place: Placed,
   nonce: string | null,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
-  const { request, policy } = state;
+  const { policy } = state;
   const attempt = state.attempts;
   return [
     {
@@ -126,7 +128,7 @@
       return toStep<CallState, EntryEffect>(
         next,
         ...result.effects,
-        ...buildCallEffects(next, result.place, null, inputs),
+        ...buildCallEffects(next, next.request, result.place, null, inputs),
       );
     }
     default:
