Name the field or offset of bad input, and fix what it lost

Cause: a check of each kind of bad input found these faults. - A record of the log without a body made its whole page unreadable, so the reader stood still before it for ever. - A record with damaged JSON in a heartbeat's answer made the answer unreadable: the lease lapsed and the records around it were lost. - An empty Idempotency-Key counted as no key, so the call could run again. A time of issue such as "foo 1" or one without a zone was accepted, and the header went before the time inside a UUIDv7 key, against design.md 4.1. - A body above 4 MiB was sent, refused by the endpoint daemon's transport and told as may-have-run; an answer above it was lost although the call ran. - A fence or cancel of a later format was carried out, and a heartbeat's answer of a later format was read. - A record of a later format with another change was told as a bad field. - Errors of the parser (body too large) lost the caller's X-Request-Id, as did all errors of the operator interface. Malformed JSON had no offset. - A resume that was refused for its class, its key or a drain was told as not-run, although its generation ran (P6).

Change: each error names the header, field or offset. Sizes are checked before a message is sent. Bad records keep their place and are logged with their offset. A refused resume is may-have-run throughout, as it was already for a bad ticket.

Conclusion: the listed bad input is refused with a name and a true verdict.

--- a/packages/cluster/notRun.promise.test.ts
+++ b/packages/cluster/notRun.promise.test.ts
@@ -20,6 +20,8 @@
   readonly name: string;
   readonly status: number;
   readonly code: string;
+  /** What the error must name. */
+  readonly detail: RegExp;
   readonly call: ServiceCall;
   readonly key?: string;
 }
@@ -41,42 +43,49 @@
       name: 'malformed JSON',
       status: 400,
       code: 'bad-request',
+      detail: /^body: malformed JSON at offset 10/,
       call: { ...chat, body: '{"model": ' },
     },
     {
       name: 'no messages',
       status: 400,
       code: 'bad-request',
+      detail: /^body: field "messages"/,
       call: { ...chat, body: buildChat({ messages: [] }) },
     },
     {
       name: 'body over the limit',
       status: 413,
       code: 'too-large',
+      detail: /^body: it is larger than 4096 bytes/,
       call: { ...chat, body: largeBody },
     },
     {
       name: 'sweep over the limit',
       status: 413,
       code: 'too-large',
+      detail: /^body: it is larger than 4096 bytes/,
       call: { ...sweep, idempotencyKey: 'refused', body: { note: large } },
     },
     {
       name: 'unknown class',
       status: 400,
       code: 'unknown-class',
+      detail: /^X-Chestnutspan-Class: no class is called no-such-class/,
       call: { ...chat, body: buildChat(), headers: { 'x-chestnutspan-class': 'no-such-class' } },
     },
     {
       name: 'unknown model',
       status: 404,
       code: 'unknown-model',
+      detail: /^body: field "model": no model is called no-such-model/,
       call: { ...chat, body: buildChat({ model: 'no-such-model' }) },
     },
     {
       name: 'wrong key',
       status: 401,
       code: 'unauthorized',
+      detail: /^Authorization: /,
       call: { ...chat, body: buildChat() },
       key: 'wrong',
     },
@@ -84,6 +93,7 @@
       name: 'sweep with a wrong key',
       status: 401,
       code: 'unauthorized',
+      detail: /^Authorization: /,
       call: { ...sweep, idempotencyKey: 'refused', body: {} },
       key: 'wrong',
     },
@@ -91,14 +101,34 @@
       name: 'unknown service',
       status: 404,
       code: 'unknown-service',
+      detail: /no-such-service/,
       call: { ...sweep, path: '/services/no-such-service/sweeps', body: {} },
     },
     {
       name: 'expired idempotency key',
       status: 400,
       code: 'key-expired',
+      detail: /^the key was issued before/,
       call: { ...sweep, idempotencyKey: 'refused', body: {}, headers: oldKey },
     },
+    {
+      name: 'empty idempotency key',
+      status: 400,
+      code: 'bad-request',
+      detail: /^Idempotency-Key is empty/,
+      call: { ...sweep, idempotencyKey: '', body: {} },
+    },
+    {
+      name: 'wrong operator key',
+      status: 401,
+      code: 'unauthorized',
+      detail: /^Authorization: the operator key/,
+      call: {
+        method: 'POST',
+        path: '/operator/records',
+        body: { kind: 'data-centre', entity: 'dc-a', basedOn: null, body: { state: 'out' } },
+      },
+    },
   ];
 };
 
@@ -107,16 +137,21 @@
 test.serial('bad input is refused as not-run, with its code, and nothing runs', async (t) => {
   const engineUrl = Object.values(cluster.standinUrls.engines)[0] ?? '';
   const caller: CallerTarget = buildCaller(cluster);
-  for (const { name, status, code, call, key } of listBadInputs()) {
+  for (const { name, status, code, detail, call, key } of listBadInputs()) {
     const answer = await sendCall({ ...caller, key: key ?? caller.key }, call);
     t.is(answer.status, status, `${name}: ${answer.text}`);
     t.regex(answer.type, /^application\/problem\+json/, name);
     t.like(answer.json, { verdict: 'not-run', code, status }, name);
-    const { detail, requestId } = answer.json as Readonly<Record<string, unknown>>;
-    t.is(typeof detail, 'string', name);
+    const { detail: text, requestId } = answer.json as Readonly<Record<string, unknown>>;
+    t.regex(String(text), detail, name);
     t.is(requestId, answer.requestId, name);
     t.not(requestId, '', name);
   }
+  // A ticket names a generation that ran, so its refusal promises nothing about that generation.
+  const resume = { method: 'POST', path: '/v1/chat/completions', body: buildChat() } as const;
+  const resumed = await sendCall(caller, { ...resume, headers: { 'last-event-id': 'nonsense' } });
+  t.like(resumed.json, { verdict: 'may-have-run', code: 'bad-request', status: 400 });
+  t.regex(resumed.text, /Last-Event-ID is malformed/);
   const { tokens = -1 } = await fetchStats(engineUrl);
   t.is(tokens, 0);
   t.is(await countExecutions(getInspectionUrl(cluster), 'refused'), 0);
--- /dev/null
+++ b/packages/core/recordFormat.ts
@@ -0,0 +1,20 @@
+import { createFailure } from './verdict.js';
+import type { Failure } from './verdict.js';
+
+const readFormat = (json: unknown): unknown =>
+  typeof json === 'object' && json !== null && 'format' in json ? json.format : undefined;
+
+/**
+ * Checks the format number of a log record before its other fields, whose meaning depends on it.
+ *
+ * @param json - decoded JSON of a record
+ * @param known - format that this version reads
+ * @param what - name of the record in the message
+ * @returns a failure with code `unsupported-format`, or null for a known or absent format
+ */
+export const checkRecordFormat = (json: unknown, known: number, what: string): Failure | null => {
+  const format = readFormat(json);
+  if (typeof format !== 'number' || format === known) return null;
+  const text = `${what}: field "format": format ${format.toString()} is unknown; this process reads ${known.toString()}`;
+  return createFailure('not-run', 'unsupported-format', text);
+};
--- a/packages/decisions/configuration/records.ts
+++ b/packages/decisions/configuration/records.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import { CONTROL_FORMAT } from './constants.js';
 import type { ConfigurationSnapshot, ControlRecord, EntityContent } from './types.js';
+import { checkRecordFormat } from '../../core/recordFormat.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
@@ -82,14 +83,12 @@
 const toFailure = (error: z.ZodError, what: string): Failure => {
   const issue = error.issues[0];
   const field = issue?.path.join('.') ?? '';
-  const code = field === 'format' ? 'unsupported-format' : 'bad-request';
-  return createFailure(
-    'not-run',
-    code,
-    `${what}: field "${field}": ${issue?.message ?? 'invalid'}`,
-  );
+  const text = `${what}: field "${field}": ${issue?.message ?? 'invalid'}`;
+  return createFailure('not-run', 'bad-request', text);
 };
 
+const RECORD = 'record of the control stream';
+
 const isSnapshot = (json: unknown): boolean =>
   typeof json === 'object' && json !== null && 'kind' in json && json.kind === 'snapshot';
 
@@ -97,13 +96,16 @@
  * Checks a value of the `control` stream.
  *
  * @param json - decoded JSON of a record
- * @returns the record, or a failure that names the first bad field
+ * @returns the record, or a failure that names the first bad field (`unsupported-format` for a
+ *   format of a later version)
  */
 export const parseControlRecord = (json: unknown): Result<ControlRecord, Failure> => {
+  const unknown = checkRecordFormat(json, CONTROL_FORMAT, RECORD);
+  if (unknown !== null) return Err(unknown);
   const schema = isSnapshot(json) ? snapshotRecordSchema : entityRecordSchema;
   const parsed = schema.safeParse(json);
   if (parsed.success) return Ok(parsed.data as ControlRecord);
-  return Err(toFailure(parsed.error, 'record of the control stream'));
+  return Err(toFailure(parsed.error, RECORD));
 };
 
 /**
--- a/packages/decisions/idempotency/records.ts
+++ b/packages/decisions/idempotency/records.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import { INTENT_FORMAT } from './constants.js';
 import type { IntentStreamRecord } from './types.js';
+import { checkRecordFormat } from '../../core/recordFormat.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
@@ -62,6 +63,8 @@
   }),
 ]);
 
+const RECORD = 'record of the intents stream';
+
 /**
  * Checks a value of the `intents` stream.
  *
@@ -70,11 +73,12 @@
  *   format of a later version)
  */
 export const parseIntentRecord = (json: unknown): Result<IntentStreamRecord, Failure> => {
+  const unknown = checkRecordFormat(json, INTENT_FORMAT, RECORD);
+  if (unknown !== null) return Err(unknown);
   const parsed = recordSchema.safeParse(json);
   if (parsed.success) return Ok(parsed.data);
   const issue = parsed.error.issues[0];
   const field = issue?.path.join('.') ?? '';
-  const code = field === 'format' ? 'unsupported-format' : 'bad-request';
-  const message = `record of the intents stream: field "${field}": ${issue?.message ?? 'invalid'}`;
-  return Err(createFailure('not-run', code, message));
+  const message = `${RECORD}: field "${field}": ${issue?.message ?? 'invalid'}`;
+  return Err(createFailure('not-run', 'bad-request', message));
 };
--- a/packages/decisions/streams/verdicts.ts
+++ b/packages/decisions/streams/verdicts.ts
@@ -27,3 +27,13 @@
     'stream-lost',
     `generation ${source.generationId} at endpoint ${source.endpoint} was lost: ${cause}`,
   );
+
+/**
+ * Corrects the refusal of a resume. The generation that a resume ticket names has run, whatever
+ * keeps this resume from being carried out, so a caller must not be told that its request was not.
+ *
+ * @param failure - why the resume is refused
+ * @returns the failure, with `may-have-run` in place of `not-run`
+ */
+export const toResumeRefusal = (failure: Failure): Failure =>
+  failure.verdict === 'not-run' ? { ...failure, verdict: 'may-have-run' } : failure;
--- a/packages/endpoint/heartbeats/configuration.ts
+++ b/packages/endpoint/heartbeats/configuration.ts
@@ -1,3 +1,4 @@
+import type { Offset } from '../../core/ids.js';
 import type { EndpointEffect, HeartbeatAnswer } from '../types.js';
 import { applySnapshot } from '../../decisions/configuration/exchange.js';
 import { foldControlRecord } from '../../decisions/configuration/fold.js';
@@ -10,10 +11,13 @@
   readonly effects: readonly EndpointEffect[];
 }
 
-const logRejected = (message: string): EndpointEffect => ({
+const logRejected = (message: string, offset: Offset | null): EndpointEffect => ({
   kind: 'log',
   name: 'record-rejected',
-  details: { data: { message } },
+  details: {
+    ...(offset === null ? {} : { position: { stream: 'control', offset } }),
+    data: { message },
+  },
 });
 
 const takeSnapshot = (state: ConfigurationState, json: unknown): ConfigurationUpdate => {
@@ -21,7 +25,7 @@
   const parsed = parseSnapshot(json);
   return parsed.isOk()
     ? { configuration: applySnapshot(state, parsed.value), effects: [] }
-    : { configuration: state, effects: [logRejected(parsed.error.message)] };
+    : { configuration: state, effects: [logRejected(parsed.error.message, null)] };
 };
 
 const takeRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
@@ -31,7 +35,7 @@
   const parsed = parseControlRecord(raw.body);
   const record = parsed.isOk() ? parsed.value : null;
   const fold = foldControlRecord(configuration, raw, record);
-  const rejected = parsed.isErr() ? [logRejected(parsed.error.message)] : [];
+  const rejected = parsed.isErr() ? [logRejected(parsed.error.message, raw.offset)] : [];
   if (fold.result.kind !== 'in-force') {
     return { configuration: fold.state, effects: [...effects, ...rejected] };
   }
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -3,6 +3,8 @@
 import type { Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
+import { parseJsonText } from '../../core/jsonText.js';
+import type { RawRecord } from '../../decisions/configuration/types.js';
 import { createPeerSession } from '../../wire/rpcListener.js';
 import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
 import {
@@ -12,6 +14,7 @@
 import type {
   HeartbeatRequest,
   HeartbeatResponse,
+  LogRecord,
 } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
 import type { EndpointEvent, HeartbeatAnswer, HeartbeatContent } from '../types.js';
 
@@ -57,17 +60,32 @@
     evidence: content.evidence.map((counters) => ({ ...counters })),
   });
 
-const decodeAnswer = (message: HeartbeatResponse): HeartbeatAnswer => ({
-  watermark: message.watermark,
-  records: message.records.map(({ offset, at, body }) => ({
-    offset,
-    at,
-    body: JSON.parse(body) as unknown,
-  })),
-  snapshot: message.snapshot === '' ? null : (JSON.parse(message.snapshot) as unknown),
-  leaseMs: message.leaseMs,
+/** A record with damaged JSON keeps its place, so that the records around it are taken over. */
+const decodeRecord = ({ offset, at, body }: LogRecord): RawRecord => ({
+  offset,
+  at,
+  body: parseJsonText(body).unwrapOr(undefined),
 });
 
+const decodeSnapshot = (text: string): unknown => {
+  if (text === '') return null;
+  return parseJsonText(text).unwrapOr(undefined);
+};
+
+const decodeAnswer = (message: HeartbeatResponse): HeartbeatAnswer => {
+  if (message.format !== MESSAGE_FORMAT) {
+    throw new Error(
+      `format ${message.format.toString()} of the heartbeat's answer is unknown; this process reads ${MESSAGE_FORMAT.toString()}`,
+    );
+  }
+  return {
+    watermark: message.watermark,
+    records: message.records.map(decodeRecord),
+    snapshot: decodeSnapshot(message.snapshot),
+    leaseMs: message.leaseMs,
+  };
+};
+
 interface Connection {
   readonly client: Client<typeof EntryService>;
   readonly manager: Http2SessionManager;
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -1,4 +1,5 @@
 import { DRAIN_CHECK_MS } from './constants.js';
+import { checkMessageFormat } from './messageFormat.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { Incarnation } from '../../core/ids.js';
@@ -9,7 +10,6 @@
 import type { Failure } from '../../core/verdict.js';
 import { checkNewWork } from '../../decisions/membership/lease.js';
 import type { LeaseState } from '../../decisions/membership/leaseTypes.js';
-import { MESSAGE_FORMAT } from '../../wire/constants.js';
 import type { EndpointEffect, GenerateCall, RpcEvent, ServiceCall } from '../types.js';
 
 export type GateState =
@@ -28,12 +28,6 @@
 
 type GateStep = Step<GateState, EndpointEffect>;
 
-const checkFormat = (format: number): Failure | null => {
-  if (format === MESSAGE_FORMAT) return null;
-  const text = `message format ${format.toString()} is unknown; this process reads ${MESSAGE_FORMAT.toString()}`;
-  return createFailure('not-run', 'unsupported-format', text);
-};
-
 const checkStart = (
   state: GateState,
   incarnation: Incarnation,
@@ -50,7 +44,7 @@
   call: GenerateCall,
   inputs: GateInputs,
 ): Failure | null => {
-  const format = checkFormat(call.format);
+  const format = checkMessageFormat(call.format);
   if (format !== null) return format;
   if (call.mode === 'start') return checkStart(state, call.incarnation, inputs);
   if (call.incarnation === inputs.getLease().incarnation) return null;
@@ -72,7 +66,7 @@
 };
 
 const handleCall = (state: GateState, call: ServiceCall, inputs: GateInputs): EndpointEffect => {
-  const failure = checkFormat(call.format) ?? checkStart(state, call.incarnation, inputs);
+  const failure = checkMessageFormat(call.format) ?? checkStart(state, call.incarnation, inputs);
   if (failure !== null) return { kind: 'reply-failure', callId: call.callId, failure };
   return { kind: 'post', event: { to: 'engine', kind: 'admit-call', call } };
 };
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -1,5 +1,7 @@
 import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { checkMessageFormat } from './messageFormat.js';
 import { createAsyncQueue } from '../../core/asyncQueue.js';
 import type { AsyncQueue } from '../../core/asyncQueue.js';
 import { createId } from '../../core/ids.js';
@@ -24,6 +26,7 @@
   GenerateEvent,
   GenerateRequest,
 } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
+import { checkBodySize } from '../../wire/messageSize.js';
 import { createRpcListener } from '../../wire/rpcListener.js';
 import type {
   CallId,
@@ -66,6 +69,12 @@
     body: answer.body,
   });
 
+/** These answers carry no failure, so the error of the call says what is wrong. */
+const refuseUnknownFormat = (format: number): void => {
+  const failure = checkMessageFormat(format);
+  if (failure !== null) throw new ConnectError(failure.message, Code.InvalidArgument);
+};
+
 /** Adapter between the loop and the entry daemons' calls. */
 export interface RpcServer {
   readonly sendStarted: (callId: CallId) => void;
@@ -176,18 +185,21 @@
           }
         }),
       cancel: (message) => {
+        refuseUnknownFormat(message.format);
         const { generationId } = message;
         post({ to: 'streams', kind: 'cancel', generationId, incarnation: message.incarnation });
         return create(CancelResponseSchema);
       },
-      fence: (message) =>
-        new Promise<FenceResponse>((resolve) => {
+      fence: (message) => {
+        refuseUnknownFormat(message.format);
+        return new Promise<FenceResponse>((resolve) => {
           const callId = createId();
           fences.set(callId, resolve);
           const { format, nonce } = message;
           const call = { callId, format, nonce, incarnation: message.incarnation };
           post({ to: 'calls', kind: 'fence', call });
-        }),
+        });
+      },
     });
   };
 
@@ -211,13 +223,16 @@
     },
     sendFailure,
     replyAnswer: (callId, answer) => {
-      replyCall(callId, { case: 'answer', value: toAnswerMessage(answer) });
+      const failure = checkBodySize(answer.body, 'answer of the service', 'ran');
+      if (failure !== null) replyFailure(callId, failure);
+      else replyCall(callId, { case: 'answer', value: toAnswerMessage(answer) });
     },
     replyFailure,
     replyFence: (callId, result, answer) => {
       const resolve = fences.get(callId);
       fences.delete(callId);
-      const stored = answer === null ? {} : { answer: toAnswerMessage(answer) };
+      const isSent = answer !== null && checkBodySize(answer.body, 'answer', 'ran') === null;
+      const stored = isSent ? { answer: toAnswerMessage(answer) } : {};
       resolve?.(create(FenceResponseSchema, { result, ...stored }));
     },
     failReaders: () => {
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -3,16 +3,18 @@
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { version as getUuidVersion, validate } from 'uuid';
 import { createKeyTable } from './authentication.js';
+import { parseIdempotencyKey } from './idempotencyKey.js';
 import { parseRequestBody } from './requestBody.js';
+import { readGivenRequestId } from './requestId.js';
 import type { Responders } from './responders.js';
 import { findServiceRoute } from './serviceRoutes.js';
-import type { Clock, Millis } from '../../core/clock.js';
+import type { Clock } from '../../core/clock.js';
 import { createId } from '../../core/ids.js';
 import type { ModelName } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
+import { toResumeRefusal } from '../../decisions/streams/verdicts.js';
 import type { EntrySettings } from '../../settings/types.js';
 import { toProblem } from '../../wire/problem.js';
 import { verifyEventId } from '../../wire/resumeTicket.js';
@@ -29,10 +31,6 @@
   readonly listModels: () => readonly ModelName[];
 }
 
-const MAX_REQUEST_ID_LENGTH = 128;
-const UUID_VERSION_WITH_TIME = 7;
-const MAX_KEY_LENGTH = 256;
-
 /** Headers of a service call that go through; the rest belong to the hop between caller and entry. */
 const FORWARDED_HEADERS: ReadonlySet<string> = new Set([
   'accept',
@@ -41,26 +39,21 @@
   'x-request-id',
 ]);
 
-const getHeader = (request: FastifyRequest, name: string): string | undefined => {
+/** Returns the value of a header, which may be empty, or undefined when it is absent. */
+const getRawHeader = (request: FastifyRequest, name: string): string | undefined => {
   const value = request.headers[name];
-  return typeof value === 'string' && value !== '' ? value : undefined;
+  return typeof value === 'string' ? value : undefined;
 };
 
-const toBytes = (body: unknown): Uint8Array => (body instanceof Buffer ? body : new Uint8Array());
-
-const readTimeOfUuid = (key: string): Millis | null => {
-  if (!validate(key) || getUuidVersion(key) !== UUID_VERSION_WITH_TIME) return null;
-  return Number.parseInt(key.replaceAll('-', '').slice(0, 12), 16);
+const getHeader = (request: FastifyRequest, name: string): string | undefined => {
+  const value = getRawHeader(request, name);
+  return value === '' ? undefined : value;
 };
 
-/** Reads the time of issue of a key: from its header, else from a UUIDv7, else unknown. */
-const readKeyTime = (header: string | undefined, key: string): Result<Millis | null, Failure> => {
-  if (header === undefined) return Ok(readTimeOfUuid(key));
-  const time = /^\d+$/.test(header) ? Number(header) : Date.parse(header);
-  if (Number.isFinite(time)) return Ok(time);
-  const text = 'Idempotency-Key-Issued-At must be milliseconds since the epoch or an ISO date';
-  return Err(createFailure('not-run', 'bad-request', text));
-};
+const isResume = (request: FastifyRequest): boolean =>
+  getHeader(request, 'last-event-id') !== undefined;
+
+const toBytes = (body: unknown): Uint8Array => (body instanceof Buffer ? body : new Uint8Array());
 
 const sendProblem = (reply: FastifyReply, requestId: string, failure: Failure): FastifyReply => {
   const problem = toProblem(failure, requestId);
@@ -91,10 +84,8 @@
   });
 
   const readRequestId = (request: FastifyRequest): string => {
-    const given = getHeader(request, 'x-request-id');
-    const usable =
-      given !== undefined && given.length <= MAX_REQUEST_ID_LENGTH && !responders.has(given);
-    return usable ? given : createId();
+    const given = readGivenRequestId(request);
+    return given !== undefined && !responders.has(given) ? given : createId();
   };
 
   const readBase = (request: FastifyRequest, requestId: string, customer: Customer) => ({
@@ -111,7 +102,8 @@
       if (responders.has(requestId)) options.postCallerGone(requestId);
     });
     if (options.postRequest(callerRequest) === 'queued') return;
-    const failure = createFailure('not-run', 'shed', 'the entry daemon is overloaded', 1_000);
+    const shed = createFailure('not-run', 'shed', 'the entry daemon is overloaded', 1_000);
+    const failure = callerRequest.kind === 'resume' ? toResumeRefusal(shed) : shed;
     responders.failRequest(requestId, failure);
   };
 
@@ -124,9 +116,8 @@
     const verified = verifyEventId(eventId, settings.ticketKey, clock.now());
     if (verified.isErr() || verified.value.ticket.customer !== customer.id) {
       const reason = verified.isErr() ? verified.error : 'of another customer';
-      // The generation may have run, whatever is wrong with the ticket.
       const text = `Last-Event-ID is ${reason}`;
-      return Err(createFailure('may-have-run', 'bad-request', text));
+      return Err(toResumeRefusal(createFailure('not-run', 'bad-request', text)));
     }
     const { ticket, lastNumber } = verified.value;
     return Ok({
@@ -143,7 +134,7 @@
   const handleChat = (request: FastifyRequest, reply: FastifyReply): FastifyReply => {
     const requestId = readRequestId(request);
     const customer = customers.findHolder(request.headers.authorization);
-    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    if (customer === undefined) return sendUnauthorized(request, reply, requestId);
     const eventId = getHeader(request, 'last-event-id');
     if (eventId !== undefined) {
       const resume = readResume(request, requestId, customer, eventId);
@@ -162,18 +153,15 @@
   const handleService = (request: FastifyRequest, reply: FastifyReply): FastifyReply => {
     const requestId = readRequestId(request);
     const customer = customers.findHolder(request.headers.authorization);
-    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    if (customer === undefined) return sendUnauthorized(request, reply, requestId);
     const { name = '', '*': rest = '' } = request.params as Record<string, string | undefined>;
     const route = findServiceRoute(settings.services, name, request.method, `/${rest}`);
     if (route.isErr()) return sendProblem(reply, requestId, route.error);
-    const key = getHeader(request, 'idempotency-key') ?? null;
-    if (key !== null && key.length > MAX_KEY_LENGTH) {
-      const text = `Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`;
-      return sendProblem(reply, requestId, createFailure('not-run', 'bad-request', text));
-    }
-    const issuedAt =
-      key === null ? Ok(null) : readKeyTime(getHeader(request, 'idempotency-key-issued-at'), key);
-    if (issuedAt.isErr()) return sendProblem(reply, requestId, issuedAt.error);
+    const given = parseIdempotencyKey({
+      key: getRawHeader(request, 'idempotency-key'),
+      issuedAt: getRawHeader(request, 'idempotency-key-issued-at'),
+    });
+    if (given.isErr()) return sendProblem(reply, requestId, given.error);
     const body = toBytes(request.body);
     const path = request.url.slice(`/services/${name}`.length);
     const callerRequest: CallerRequest = {
@@ -186,8 +174,8 @@
       body,
       repeat: route.value.repeat,
       routeClass: route.value.className ?? null,
-      key,
-      keyIssuedAt: issuedAt.value,
+      key: given.value.key,
+      keyIssuedAt: given.value.issuedAt,
       fingerprint: hashCall(request.method, `/${name}${path}`, body),
     };
     submit(reply, callerRequest, { kind: 'whole' });
@@ -199,7 +187,7 @@
   server.get('/v1/models', (request, reply) => {
     const requestId = readRequestId(request);
     const customer = customers.findHolder(request.headers.authorization);
-    if (customer === undefined) return sendUnauthorized(reply, requestId);
+    if (customer === undefined) return sendUnauthorized(request, reply, requestId);
     const data = options
       .listModels()
       .map((id) => ({ id, object: 'model', created: 0, owned_by: 'chestnutspan' }));
@@ -209,23 +197,35 @@
 
   server.setNotFoundHandler((request, reply) => {
     const text = `no such path: ${request.method} ${request.url}`;
-    return sendProblem(reply, createId(), createFailure('not-run', 'unknown-service', text));
+    const failure = createFailure('not-run', 'unknown-service', text);
+    return sendProblem(reply, readRequestId(request), failure);
   });
-  server.setErrorHandler((error: FastifyError, _request, reply) => {
-    const isLarge = error.code === 'FST_ERR_CTP_BODY_TOO_LARGE';
-    const isCallers = error.statusCode !== undefined && error.statusCode < 500;
-    const code = isLarge ? 'too-large' : isCallers ? 'bad-request' : 'internal';
-    return sendProblem(reply, createId(), createFailure('not-run', code, error.message));
+  server.setErrorHandler((error: FastifyError, request, reply) => {
+    const failure = toServerFailure(error, settings.limits.maxBodyBytes);
+    const refusal = isResume(request) ? toResumeRefusal(failure) : failure;
+    return sendProblem(reply, readRequestId(request), refusal);
   });
   return server;
 };
 
-const sendUnauthorized = (reply: FastifyReply, requestId: string): FastifyReply =>
-  sendProblem(
-    reply,
-    requestId,
-    createFailure('not-run', 'unauthorized', 'the bearer key is missing or unknown'),
-  );
+const toServerFailure = (error: FastifyError, maxBodyBytes: number): Failure => {
+  if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
+    const text = `body: it is larger than ${maxBodyBytes.toString()} bytes`;
+    return createFailure('not-run', 'too-large', text);
+  }
+  const isCallers = error.statusCode !== undefined && error.statusCode < 500;
+  return createFailure('not-run', isCallers ? 'bad-request' : 'internal', error.message);
+};
+
+const sendUnauthorized = (
+  request: FastifyRequest,
+  reply: FastifyReply,
+  requestId: string,
+): FastifyReply => {
+  const text = 'Authorization: the bearer key is missing or unknown';
+  const failure = createFailure('not-run', 'unauthorized', text);
+  return sendProblem(reply, requestId, isResume(request) ? toResumeRefusal(failure) : failure);
+};
 
 const listForwarded = (request: FastifyRequest): readonly HeaderField[] =>
   Object.entries(request.headers).flatMap(([name, value]) =>
--- a/packages/entry/frontend/constants.ts
+++ b/packages/entry/frontend/constants.ts
@@ -15,3 +15,9 @@
 
 /** Time after the hand-over of streams that calls get to end. */
 export const HAND_OVER_MS = 5_000;
+
+/** Longest `Idempotency-Key`; the key is part of each record of its chain. */
+export const MAX_KEY_LENGTH = 256;
+
+/** Longest `X-Request-Id` that is taken over; it is part of each log line of the request. */
+export const MAX_REQUEST_ID_LENGTH = 128;
--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -5,6 +5,7 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { createFailure } from '../../core/verdict.js';
+import { toResumeRefusal } from '../../decisions/streams/verdicts.js';
 import type { EntryEffect, FrontendEvent } from '../events.js';
 import type { CallerRequest } from '../types.js';
 
@@ -35,7 +36,8 @@
   if (state.phase === 'accepting') {
     return { kind: 'post', event: { to: 'requests', kind: 'request-received', request } };
   }
-  const failure = createFailure('not-run', 'draining', 'the entry daemon is leaving', 1);
+  const leaving = createFailure('not-run', 'draining', 'the entry daemon is leaving', 1);
+  const failure = request.kind === 'resume' ? toResumeRefusal(leaving) : leaving;
   return { kind: 'fail-request', requestId: request.requestId, failure };
 };
 
--- a/packages/entry/frontend/requestBody.ts
+++ b/packages/entry/frontend/requestBody.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
 import { CHARACTERS_PER_TOKEN, MESSAGE_OVERHEAD_TOKENS, PREFIX_CHARACTERS } from './constants.js';
+import { parseJsonBytes } from '../../core/jsonText.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { GenerationRequest } from '../types.js';
@@ -44,20 +45,16 @@
  * Checks a chat-completions body and reads what placement needs.
  *
  * @param bytes - JSON body as it was received
- * @returns the parsed body, or a `not-run` failure that names the field
+ * @returns the parsed body, or a `not-run` failure that names the field or the offset
  */
 export const parseRequestBody = (bytes: Uint8Array): Result<ParsedBody, Failure> => {
-  const text = Buffer.from(bytes).toString('utf8');
-  let json: unknown;
-  try {
-    json = JSON.parse(text);
-  } catch (error) {
-    const reason = error instanceof Error ? error.message : String(error);
-    return Err(createFailure('not-run', 'bad-request', `malformed JSON: ${reason}`));
-  }
-  const parsed = bodySchema.safeParse(json);
+  const json = parseJsonBytes(bytes);
+  if (json.isErr()) return Err(createFailure('not-run', 'bad-request', `body: ${json.error}`));
+  const parsed = bodySchema.safeParse(json.value);
   if (!parsed.success) {
-    return Err(createFailure('not-run', 'bad-request', z.prettifyError(parsed.error)));
+    const issue = parsed.error.issues[0];
+    const text = `body: field "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'invalid'}`;
+    return Err(createFailure('not-run', 'bad-request', text));
   }
   const { model, messages, stream, stream_options: options } = parsed.data;
   const contents = listTexts(messages);
--- a/packages/entry/operator/operatorRoutes.ts
+++ b/packages/entry/operator/operatorRoutes.ts
@@ -1,6 +1,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { assertNever } from '../../core/assertNever.js';
 import { createId } from '../../core/ids.js';
+import { parseJsonBytes } from '../../core/jsonText.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { ConfigurationState } from '../../decisions/configuration/types.js';
@@ -8,6 +9,7 @@
 import { toProblem } from '../../wire/problem.js';
 import type { EntryEvent, OperatorOutcome } from '../events.js';
 import { createKeyTable } from '../frontend/authentication.js';
+import { readGivenRequestId } from '../frontend/requestId.js';
 
 type Operator = EntrySettings['operators'][number];
 
@@ -38,10 +40,12 @@
 const UNPROCESSABLE = 422;
 
 const sendFailure = (reply: FastifyReply, failure: Failure, extra: object = {}): void => {
-  const problem = toProblem(failure, createId());
+  const requestId = readGivenRequestId(reply.request) ?? createId();
+  const problem = toProblem(failure, requestId);
   const status = failure.code === 'bad-request' ? UNPROCESSABLE : problem.status;
   void reply
     .code(status)
+    .header('x-request-id', requestId)
     .type('application/problem+json')
     .send({ ...problem, status, ...extra });
 };
@@ -68,14 +72,6 @@
   }
 };
 
-const parseJson = (body: unknown): unknown => {
-  try {
-    return JSON.parse(body instanceof Buffer ? body.toString('utf8') : '') as unknown;
-  } catch {
-    return undefined;
-  }
-};
-
 /**
  * Registers the operator interface: declarative records only.
  *
@@ -93,7 +89,7 @@
   const findOperator = (request: FastifyRequest, reply: FastifyReply): Operator | undefined => {
     const operator = operators.findHolder(request.headers.authorization);
     if (operator === undefined) {
-      const text = 'the operator key is missing or unknown';
+      const text = 'Authorization: the operator key is missing or unknown';
       sendFailure(reply, createFailure('not-run', 'unauthorized', text));
     }
     return operator;
@@ -113,11 +109,12 @@
   server.post<{ Querystring: { dryRun?: string } }>('/operator/records', (request, reply) => {
     const operator = findOperator(request, reply);
     if (operator === undefined) return reply;
-    const body = parseJson(request.body);
-    if (body === undefined) {
-      sendFailure(reply, createFailure('not-run', 'bad-request', 'the body is not JSON'));
+    const parsed = parseJsonBytes(request.body instanceof Buffer ? request.body : new Uint8Array());
+    if (parsed.isErr()) {
+      sendFailure(reply, createFailure('not-run', 'bad-request', `body: ${parsed.error}`));
       return reply;
     }
+    const body = parsed.value;
     const operationId = createId();
     waiting.set(operationId, reply);
     const run = request.query.dryRun === 'true' ? 'dry' : 'real';
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -12,6 +12,7 @@
 import { createPeerSession } from '../../wire/rpcListener.js';
 import { MAX_MESSAGE_BYTES, MESSAGE_FORMAT } from '../../wire/constants.js';
 import { decodeCallFailure } from '../../wire/failureCodec.js';
+import { checkBodySize } from '../../wire/messageSize.js';
 import {
   CallRequestSchema,
   CancelRequestSchema,
@@ -217,6 +218,11 @@
   const readLink = async (open: OpenGeneration): Promise<void> => {
     const { requestId, generationId, link } = open;
     const key: LinkKey = { requestId, generationId, link };
+    const tooLarge = checkBodySize(open.body, 'body', 'not-run');
+    if (tooLarge !== null) {
+      post({ kind: 'generation-failed', ...key, failure: tooLarge });
+      return;
+    }
     const controller = new AbortController();
     const linkId = getLinkId(generationId, link);
     links.set(linkId, controller);
@@ -295,6 +301,11 @@
 
   const callOnce = async (call: OpenCall): Promise<void> => {
     const { requestId, attempt } = call;
+    const tooLarge = checkBodySize(call.body, 'body', 'not-run');
+    if (tooLarge !== null) {
+      post({ kind: 'call-failed', requestId, attempt, failure: tooLarge });
+      return;
+    }
     try {
       const message = create(CallRequestSchema, {
         format: MESSAGE_FORMAT,
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -31,13 +31,15 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { DEFAULT_QUEUE_SETTINGS } from '../../decisions/fairness/constants.js';
+import { toResumeRefusal } from '../../decisions/streams/verdicts.js';
 import type { EntryEffect, RequestsEvent } from '../events.js';
 import type { CallerRequest } from '../types.js';
 
 type Effects = readonly EntryEffect[];
 
-const refuseArrival = (request: CallerRequest, failure: Failure): Effects => {
+const refuseArrival = (request: CallerRequest, refusal: Failure): Effects => {
   const { requestId } = request;
+  const failure = request.kind === 'resume' ? toResumeRefusal(refusal) : refusal;
   return [
     { kind: 'fail-request', requestId, failure },
     {
@@ -56,7 +58,11 @@
     return createFailure('not-run', 'shed', 'too many requests are in progress', 1_000);
   }
   if (request.kind === 'generation' && !inputs.models.includes(request.model)) {
-    return createFailure('not-run', 'unknown-model', `no model is called ${request.model}`);
+    return createFailure(
+      'not-run',
+      'unknown-model',
+      `body: field "model": no model is called ${request.model}`,
+    );
   }
   return null;
 };
@@ -87,7 +93,7 @@
   const customerDefault = inputs.getCustomerDefault(request.customer);
   const found = findClass(request, customerDefault, inputs.getClasses());
   if (found.kind === 'unknown') {
-    const text = `no class is called ${found.className}`;
+    const text = `X-Chestnutspan-Class: no class is called ${found.className}`;
     return refuseArrival(request, createFailure('not-run', 'unknown-class', text));
   }
   const { requestId } = request;
--- a/packages/platform/client/answers.ts
+++ b/packages/platform/client/answers.ts
@@ -1,6 +1,8 @@
-import { Err, Ok, Result } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import type { z } from 'zod';
 import type { Exchange, ExchangeError } from './exchange.js';
+import { parseJsonBytes } from '../../core/jsonText.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
 
@@ -50,16 +52,16 @@
  * @param service - name and code of the service
  * @param body - the bytes
  * @param schema - form of the value
- * @returns the value, or a failure that names the bad field
+ * @returns the value, or a failure that names the bad field or the offset
  */
 export const decodeJson = <Value>(
   service: ServiceName,
   body: Uint8Array,
   schema: z.ZodType<Value>,
 ): Result<Value, Failure> => {
-  const json = Result.wrap((): unknown => JSON.parse(new TextDecoder().decode(body)));
+  const json = parseJsonBytes(body);
   if (json.isErr()) {
-    return Err(createFailure('not-run', service.code, `${service.name}: the answer is no JSON`));
+    return Err(createFailure('not-run', service.code, `${service.name}: ${json.error}`));
   }
   const parsed = schema.safeParse(json.value);
   if (parsed.success) return Ok(parsed.data);
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -9,7 +9,15 @@
 import { createWeightClient } from './weightClient.js';
 
 type Script =
-  'append' | 'lose-answer' | 'hang' | 'status-400' | 'status-429' | 'status-500' | 'no-json';
+  | 'append'
+  | 'lose-answer'
+  | 'hang'
+  | 'status-400'
+  | 'status-429'
+  | 'status-500'
+  | 'no-json'
+  | 'damaged'
+  | 'cut';
 
 /** A small log, list and weight store that answers by the name of the stream or model. */
 const startFake = async (t: ExecutionContext) => {
@@ -35,6 +43,14 @@
   server.get('/streams/:script/records', (incoming, reply) => {
     const { script } = incoming.params as { script: Script };
     if (script === 'status-500') return reply.code(500).send();
+    if (script === 'damaged') {
+      return reply
+        .type('application/json')
+        .send(
+          '{"records":[{"offset":0,"at":1,"body":1},{"offset":1,"at":1},{"offset":2,"at":1,"body":"{\\"a"}],"nextOffset":3,"firstOffset":0}',
+        );
+    }
+    if (script === 'cut') return reply.type('application/json').send('{"records":[{"offset":0,"a');
     const { from } = incoming.query as { from: string };
     const page = records.map((body, offset) => ({ offset, at: 7, body })).slice(Number(from));
     return reply.send({
@@ -117,6 +133,26 @@
   t.true(ended.isErr());
 });
 
+// Guards against a record without a body, or with damaged JSON in it, that makes the records around it
+// unreadable, and against a cut page that is taken for a short one.
+test('a damaged record keeps its place in its page, and a cut page is no answer', async (t) => {
+  const { options } = await startFake(t);
+  const client = createLogClient(options);
+  t.teardown(client.close);
+  const page = (await client.read('damaged', { from: 0 })).unwrap();
+  t.deepEqual(
+    page.records.map(({ offset, body }) => [offset, body]),
+    [
+      [0, 1],
+      [1, null],
+      [2, '{"a'],
+    ],
+  );
+  const failure = (await client.read('cut', { from: 0 })).unwrapErr();
+  t.like(failure, { verdict: 'not-run', code: 'log-unavailable' });
+  t.regex(failure.message, /^the log: malformed JSON at offset 24/);
+});
+
 // Guards against a list that is not checked and a rate limit whose time of retry is lost.
 test('the list and the weight store answer or fail with their reason', async (t) => {
   const { options } = await startFake(t);
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -14,8 +14,14 @@
 
 const appendSchema = z.object({ firstOffset: offset });
 
+/** A record without a body takes up its offset like any other; its reader refuses the null. */
+const body = z
+  .unknown()
+  .optional()
+  .transform((given) => given ?? null);
+
 const pageSchema: z.ZodType<LogPage> = z.object({
-  records: z.array(z.object({ offset, at: z.number(), body: z.unknown() })),
+  records: z.array(z.object({ offset, at: z.number(), body })),
   nextOffset: offset,
   firstOffset: offset,
 });
