Add npm run fuzz, which runs the properties of the decisions with a fresh seed

Change: the generators and simulations move from test files to fixtures next to them, unchanged, and packages/decisions/fuzz runs them in turn for a given time (at most once, streams, moves, configuration, membership, admission). The moves and the membership get a property over any seed with the same checks as their promise tests.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,17 @@
       'no-restricted-syntax': [
         'error',
         { selector: 'TSEnumDeclaration', message: 'Use a string union in place of an enum.' },
+        // Without them CI would run another test each time; npm run fuzz takes fresh seeds.
+        {
+          selector:
+            "CallExpression[callee.object.name='fc'][callee.property.name=/^(assert|check)$/][arguments.length<2]",
+          message: 'Give seed and numRuns.',
+        },
+        {
+          selector:
+            "CallExpression[callee.object.name='fc'][callee.property.name=/^(assert|check)$/] > ObjectExpression:not(:has(SpreadElement)):not(:has(Property[key.name='seed']):has(Property[key.name='numRuns']))",
+          message: 'Give seed and numRuns.',
+        },
       ],
       'no-restricted-imports': [
         'error',
--- /dev/null
+++ b/packages/decisions/configuration/configurationProperty.fixture.ts
@@ -0,0 +1,24 @@
+import fc from 'fast-check';
+import { runConfiguration } from './configurationSimulation.fixture.js';
+import type { Mechanisms, SimulationAction } from './configurationSimulation.fixture.js';
+
+const anyAction: fc.Arbitrary<SimulationAction> = fc.record({
+  kind: fc.constantFrom(
+    ...(['propose', 'propose', 'append', 'append', 'append', 'append', 'read', 'read'] as const),
+    ...(['deliver', 'deliver', 'deliver', 'heartbeat', 'heartbeat', 'end-move'] as const),
+    ...(['plan-snapshot', 'retain', 'restart', 'outage', 'ask-peer'] as const),
+    ...(['quarantine', 'later-format'] as const),
+  ),
+  pick: fc.nat({ max: 10_000 }),
+});
+
+/**
+ * Builds the property of P10: a configuration never goes back and is the same everywhere.
+ *
+ * @param mechanisms - the decisions under test, or variants of them
+ * @returns a fast-check property that throws with the violation
+ */
+export const buildConfigurationProperty = (mechanisms: Mechanisms) =>
+  fc.property(fc.array(anyAction, { maxLength: 150, size: 'max' }), (actions) => {
+    runConfiguration(actions, mechanisms);
+  });
--- /dev/null
+++ b/packages/decisions/fuzz/runSuites.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { SLICE_MS } from './constants.js';
+import { replayPath, runSuites } from './runSuites.js';
+import { buildSuite } from './suites.fixture.js';
+import type { CheckParameters, FuzzSuite } from './types.js';
+
+const SMALL_BOUND = 5_000;
+
+const buildViolated = (): FuzzSuite =>
+  buildSuite(
+    'violated',
+    fc.property(fc.nat(100_000), (value) => {
+      if (value >= SMALL_BOUND) throw new Error(`${value.toString()} is too large`);
+    }),
+  );
+
+/** A suite that takes its whole slice of the virtual time and keeps its property. */
+const buildKept = (clock: { now: number }, checks: CheckParameters[]): FuzzSuite => ({
+  name: 'kept',
+  check: (parameters) => {
+    checks.push(parameters);
+    clock.now += parameters.interruptAfterTimeLimit ?? 0;
+    return { kind: 'kept', runs: 10 };
+  },
+});
+
+// Guards against a violation that is not told, or told without what is needed to repeat it.
+test('a violation is reported with the seed and path that repeat it', (t) => {
+  const clock = { now: 0 };
+  const checks: CheckParameters[] = [];
+  const lines: string[] = [];
+  const suites = [buildViolated(), buildKept(clock, checks)];
+  const inputs = { seed: 42, durationMs: 3 * SLICE_MS, now: () => clock.now };
+  const { runs, violations } = runSuites(suites, { ...inputs, print: (line) => lines.push(line) });
+  t.is(lines[0], 'seed 42');
+  t.is(violations.length, 1);
+  const [violation] = violations;
+  t.like(violation, { suite: 'violated', seed: 42, counterexample: '[5000]' });
+  t.is(violation?.error, '5000 is too large');
+  t.true(lines.some((line) => line.includes(`seed 42, path ${violation?.path ?? ''}`)));
+  const again = replayPath(buildViolated(), 42, violation?.path ?? '', () => undefined);
+  t.like(again.violations[0], { counterexample: '[5000]', error: '5000 is too large' });
+  // The other suite goes on with a new seed in each round, until the time is over.
+  t.deepEqual(
+    checks.map(({ seed }) => seed),
+    [42, 43, 44],
+  );
+  t.is(runs.get('kept'), 30);
+});
+
+// Guards against a counterexample that is reported although the property holds.
+test('a path that leads to no violation is told as none', (t) => {
+  const kept = buildSuite(
+    'kept',
+    fc.property(fc.nat(), (value) => value >= 0),
+  );
+  t.deepEqual(replayPath(kept, 1, '0', () => undefined).violations, []);
+});
--- /dev/null
+++ b/packages/decisions/fuzz/suites.fixture.ts
@@ -0,0 +1,70 @@
+import fc from 'fast-check';
+import type { CheckParameters, CheckResult, FuzzSuite } from './types.js';
+import { buildColdEngineProperty } from '../admission/coldEngineSimulation.fixture.js';
+import { buildConfigurationProperty } from '../configuration/configurationProperty.fixture.js';
+import { ALL_MECHANISMS } from '../configuration/configurationSimulation.fixture.js';
+import { buildRetentionProperty } from '../configuration/retentionSimulation.fixture.js';
+import { buildCommandList, runCommands } from '../idempotency/testing/fuzz.js';
+import type { Mechanisms } from '../idempotency/testing/types.js';
+import {
+  buildChangeProperty,
+  buildOrderProperty,
+} from '../membership/membershipProperty.fixture.js';
+import { buildMoveProperty, buildReportsProperty } from '../moves/moveProperty.fixture.js';
+import { buildBufferProperty } from '../streams/bufferProperty.fixture.js';
+import { decideDelivery } from '../streams/delivery.js';
+import { buildAnswersProperty, buildTokensProperty } from '../streams/streamProperties.fixture.js';
+
+const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+
+const buildAtMostOnceProperty = (profile: 'faults' | 'retention') =>
+  fc.property(buildCommandList(profile), (commands) => {
+    const { violations } = runCommands(commands, KEPT);
+    if (violations.length > 0) throw new Error(violations.join('; '));
+  });
+
+const toResult = <Inputs>(details: fc.RunDetails<Inputs>): CheckResult => {
+  const { failed, numRuns, seed, counterexample, counterexamplePath, errorInstance } = details;
+  // A check that its time limit ends without a counterexample has kept what it tried.
+  if (!failed || counterexamplePath === null) return { kind: 'kept', runs: numRuns };
+  return {
+    kind: 'violated',
+    runs: numRuns,
+    seed,
+    path: counterexamplePath,
+    counterexample: fc.stringify(counterexample),
+    error: errorInstance instanceof Error ? errorInstance.message : 'the property is false',
+  };
+};
+
+/**
+ * Builds a suite of one property.
+ *
+ * @param name - subject and promise
+ * @param property - the property with its generator
+ * @returns the suite
+ */
+export const buildSuite = <Inputs>(name: string, property: fc.IProperty<Inputs>): FuzzSuite => ({
+  name,
+  check: (parameters: CheckParameters) => toResult(fc.check(property, parameters)),
+});
+
+/** Stateful and property suites of the decisions; `npm run fuzz` runs them in turn. */
+export const FUZZ_SUITES: readonly FuzzSuite[] = [
+  buildSuite('at-most-once/faults', buildAtMostOnceProperty('faults')),
+  buildSuite('at-most-once/retention', buildAtMostOnceProperty('retention')),
+  buildSuite('streams/tokens', buildTokensProperty(decideDelivery)),
+  buildSuite('streams/answers', buildAnswersProperty(decideDelivery)),
+  buildSuite('streams/buffer', buildBufferProperty()),
+  buildSuite('moves/versions', buildMoveProperty()),
+  buildSuite('moves/reports', buildReportsProperty()),
+  buildSuite('configuration/never-reverts', buildConfigurationProperty(ALL_MECHANISMS)),
+  buildSuite('configuration/retention', buildRetentionProperty()),
+  buildSuite('membership/data-centre-out', buildChangeProperty('data-centre-out')),
+  buildSuite('membership/endpoint-leaves', buildChangeProperty('endpoint-leaves')),
+  buildSuite('membership/order', buildOrderProperty()),
+  buildSuite(
+    'admission/cold-engine',
+    buildColdEngineProperty(() => undefined),
+  ),
+];
--- a/packages/decisions/membership/membership.test.ts
+++ b/packages/decisions/membership/membership.test.ts
@@ -4,42 +4,18 @@
 import { checkNewWork, decideLease, initLease } from './lease.js';
 import type { LeaseEvent } from './leaseTypes.js';
 import { checkEligibility, decideMembership, initMembership } from './membership.js';
-import type { MembershipEvent, ReportedPhase } from './types.js';
+import { buildHeartbeat, buildOrderProperty } from './membershipProperty.fixture.js';
+import type { MembershipEvent } from './types.js';
 
 const SEED = 99;
 const RUNS = 1_000;
 
-const buildHeartbeat = (
-  incarnation: string,
-  sequence: number,
-  phase: ReportedPhase,
-  now: number,
-): MembershipEvent<null> => {
-  const heartbeat = { endpoint: 'e', dataCentre: 'd', incarnation, sequence, phase, report: null };
-  return { kind: 'heartbeat', heartbeat, now };
-};
-
 const run = (...events: readonly MembershipEvent<null>[]) =>
   events.reduce((state, event) => decideMembership(state, event).state, initMembership<null>());
 
 // Guards against a late heartbeat that brings a draining endpoint or an older process back.
 test('the newest heartbeat decides, whatever order the heartbeats arrive in', (t) => {
-  const anyOrder = fc.shuffledSubarray(
-    ['i1', 'i2'].flatMap((incarnation) => [1, 2, 3].map((sequence) => ({ incarnation, sequence }))),
-    { minLength: 1 },
-  );
-  const property = fc.property(anyOrder, (order) => {
-    const events = order.map(({ incarnation, sequence }) =>
-      buildHeartbeat(incarnation, sequence, sequence === 3 ? 'draining' : 'serving', 0),
-    );
-    const newest = order.reduce((best, heartbeat) => {
-      const isNewer = `${heartbeat.incarnation}${heartbeat.sequence.toString()}`;
-      return isNewer > `${best.incarnation}${best.sequence.toString()}` ? heartbeat : best;
-    });
-    const known = run(...events).endpoints.get('e')?.newest;
-    return known?.incarnation === newest.incarnation && known.sequence === newest.sequence;
-  });
-  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  fc.assert(buildOrderProperty(), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
--- a/packages/decisions/moves/move.test.ts
+++ b/packages/decisions/moves/move.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { addEvidence, collectRoutes, initEvidence, observeEvidence } from './evidence.js';
 import { decideMove, getShare, initMove } from './move.js';
+import { buildReportsProperty } from './moveProperty.fixture.js';
 import { MOVE } from './moveSimulation.fixture.js';
 import {
   CLEAR_LOG_RATIO,
@@ -13,7 +13,6 @@
   updateSequentialTest,
 } from './sequentialTest.js';
 import { chooseVersion } from './share.js';
-import type { EvidenceReport } from './types.js';
 import { createRandomSource } from '../../core/random.js';
 
 const SEED = 49;
@@ -93,28 +92,9 @@
   t.true(largest < CLEAR_LOG_RATIO);
 });
 
-const buildReport = (incarnation: string, version: string, successes: number): EvidenceReport => ({
-  endpoint: 'e',
-  incarnation,
-  dataCentre: 'd',
-  version,
-  counts: [{ route: 'r', className: 'c', successes, failures: successes / 2, slow: 0 }],
-});
-
 // Guards against evidence that is counted twice, taken back, or lost with its incarnation.
 test('repeated, late and reordered reports add up to the newest count of each incarnation', (t) => {
-  const reports = ['i1', 'i2'].flatMap((incarnation) =>
-    [2, 4, 10].map((successes) => buildReport(incarnation, MOVE.to, successes)),
-  );
-  const anyOrder = fc.tuple(fc.shuffledSubarray(reports, { minLength: 6 }), fc.subarray(reports));
-  const property = fc.property(anyOrder, ([order, repeated]) => {
-    let evidence = initEvidence(0);
-    for (const report of [...order, ...repeated]) {
-      evidence = observeEvidence(addEvidence(evidence, MOVE, report, 0), MOVE, 0);
-    }
-    return collectRoutes(evidence).get('r')?.answers === 30;
-  });
-  fc.assert(property, { seed: SEED, numRuns: RUNS });
+  fc.assert(buildReportsProperty(), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
--- /dev/null
+++ b/packages/decisions/moves/moveProperty.fixture.ts
@@ -0,0 +1,90 @@
+import fc from 'fast-check';
+import { addEvidence, collectRoutes, initEvidence, observeEvidence } from './evidence.js';
+import { MOVE, runMove } from './moveSimulation.fixture.js';
+import type { MoveRun, VersionBehaviour } from './moveSimulation.fixture.js';
+import type { EvidenceReport } from './types.js';
+
+const REQUESTS_PER_SECOND = 40;
+const MAX_SEED = 2 ** 31 - 1;
+
+const BEHAVIOURS: readonly VersionBehaviour[] = [
+  'good',
+  'fails-always',
+  'fails-half',
+  'slow',
+  'fails-late',
+  'fails-under-load',
+  'fails-on-one-route',
+];
+
+const BAD_FROM_START: ReadonlySet<VersionBehaviour> = new Set([
+  'fails-always',
+  'fails-half',
+  'slow',
+  'fails-on-one-route',
+]);
+
+const checkMove = (behaviour: VersionBehaviour, run: MoveRun): string | null => {
+  const wanted = behaviour === 'good' ? 'done' : 'taken-back';
+  if (run.record?.outcome !== wanted) return `ended as ${run.record?.outcome ?? 'nothing'}`;
+  if (run.phases.some((phase) => phase !== wanted)) return `phases ${run.phases.join(' ')}`;
+  if (behaviour === 'good') return run.record.at <= MOVE.deadline ? null : 'after the deadline';
+  if (run.lateToNew > 0) return `${run.lateToNew.toString()} requests after 5 s`;
+  if (!BAD_FROM_START.has(behaviour)) return null;
+  // Each request is drawn by itself, so one run may deviate by three standard deviations.
+  const bound = 0.05 * run.requests + 3 * Math.sqrt(0.05 * run.requests);
+  return run.requestsToNew <= bound ? null : `${run.requestsToNew.toString()} requests to the new`;
+};
+
+/**
+ * Builds the property of P4: a good version finishes by its deadline, and a bad one is taken back
+ * within 5 s and gets a small share.
+ *
+ * @returns a fast-check property that throws with the violation
+ */
+export const buildMoveProperty = () =>
+  fc.property(fc.constantFrom(...BEHAVIOURS), fc.nat(MAX_SEED), (behaviour, seed) => {
+    const run = runMove({ seed, behaviour, requestsPerSecond: REQUESTS_PER_SECOND });
+    const violation = checkMove(behaviour, run);
+    if (violation !== null) throw new Error(`a version that is ${behaviour}: ${violation}`);
+  });
+
+/**
+ * Builds an endpoint's report with equal numbers of each count.
+ *
+ * @param incarnation - incarnation of the endpoint daemon
+ * @param version - version that it runs
+ * @param successes - number of successes; half as many failed
+ * @returns the report
+ */
+export const buildReport = (
+  incarnation: string,
+  version: string,
+  successes: number,
+): EvidenceReport => ({
+  endpoint: 'e',
+  dataCentre: 'd',
+  incarnation,
+  version,
+  counts: [{ route: 'r', className: 'c', successes, failures: successes / 2, slow: 0 }],
+});
+
+/**
+ * Builds the property that repeated, late and reordered reports add up to the newest count of each
+ * incarnation.
+ *
+ * @returns a fast-check property
+ */
+export const buildReportsProperty = () => {
+  const reports = ['i1', 'i2'].flatMap((incarnation) =>
+    [2, 4, 10].map((successes) => buildReport(incarnation, MOVE.to, successes)),
+  );
+  const anyOrder = fc.tuple(fc.shuffledSubarray(reports, { minLength: 6 }), fc.subarray(reports));
+  return fc.property(anyOrder, ([order, repeated]) => {
+    let evidence = initEvidence(0);
+    for (const report of [...order, ...repeated]) {
+      evidence = observeEvidence(addEvidence(evidence, MOVE, report, 0), MOVE, 0);
+    }
+    return collectRoutes(evidence).get('r')?.answers === 30;
+  });
+};
--- /dev/null
+++ b/packages/decisions/streams/streamProperties.fixture.ts
@@ -0,0 +1,43 @@
+import fc from 'fast-check';
+import { buildStreamProperty } from './faultyStreams.fixture.js';
+import type { DecideDelivery, SimulationAction } from './faultyStreams.fixture.js';
+
+const anyStreamAction: fc.Arbitrary<SimulationAction> = fc.record({
+  kind: fc.constantFrom(
+    ...(['produce', 'produce', 'produce', 'deliver', 'deliver', 'deliver', 'deliver'] as const),
+    ...(['drop', 'duplicate', 'cross', 'advance', 'cut'] as const),
+    ...(['drain-entry', 'kill-entry', 'kill-endpoint'] as const),
+  ),
+  pick: fc.nat({ max: 10_000 }),
+});
+
+/** Faults of links and deaths of daemons of both kinds. */
+export const anyStreamActions = fc.array(anyStreamAction, { maxLength: 160, size: 'max' });
+
+const anyAnswerAction: fc.Arbitrary<SimulationAction> = fc.record({
+  kind: fc.constantFrom(
+    ...(['produce', 'produce', 'produce', 'deliver', 'deliver', 'deliver', 'drop'] as const),
+    ...(['duplicate', 'cross', 'cross', 'advance', 'cut', 'kill-entry', 'kill-endpoint'] as const),
+  ),
+  pick: fc.nat({ max: 10_000 }),
+});
+
+const anyAnswerActions = fc.array(anyAnswerAction, { maxLength: 120, size: 'max' });
+
+/**
+ * Builds the property of P1: each token is shown once, in order, from one generation.
+ *
+ * @param decide - decision under test
+ * @returns a fast-check property
+ */
+export const buildTokensProperty = (decide: DecideDelivery) =>
+  buildStreamProperty(['incremental', 'incremental'], anyStreamActions, decide);
+
+/**
+ * Builds the property of P5: an answer that ended is the whole answer of its own generation.
+ *
+ * @param decide - decision under test
+ * @returns a fast-check property
+ */
+export const buildAnswersProperty = (decide: DecideDelivery) =>
+  buildStreamProperty(['whole', 'incremental', 'whole'], anyAnswerActions, decide);
--- a/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
+++ b/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
@@ -1,44 +1,27 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { decideDelivery } from './delivery.js';
-import {
-  buildStreamProperty,
-  decideWithoutGenerations,
-  runFaultyStreams,
-} from './faultyStreams.fixture.js';
+import { decideWithoutGenerations, runFaultyStreams } from './faultyStreams.fixture.js';
 import type { DecideDelivery, SimulationAction } from './faultyStreams.fixture.js';
+import { anyStreamActions, buildTokensProperty } from './streamProperties.fixture.js';
 
 const SEED = 20_261_204;
 const RUNS = 1_500;
 
-const anyAction: fc.Arbitrary<SimulationAction> = fc.record({
-  kind: fc.constantFrom(
-    ...(['produce', 'produce', 'produce', 'deliver', 'deliver', 'deliver', 'deliver'] as const),
-    ...(['drop', 'duplicate', 'cross', 'advance', 'cut'] as const),
-    ...(['drain-entry', 'kill-entry', 'kill-endpoint'] as const),
-  ),
-  pick: fc.nat({ max: 10_000 }),
-});
-
-const anyActions = fc.array(anyAction, { maxLength: 160, size: 'max' });
-
-const buildProperty = (decide: DecideDelivery) =>
-  buildStreamProperty(['incremental', 'incremental'], anyActions, decide);
-
 const decideWithoutNumbers: DecideDelivery = (state, event) =>
   decideDelivery(state, event.kind === 'chunks' ? { ...event, firstNumber: state.next } : event);
 
 // Guards against tokens that a caller sees twice, out of order, or from two generations (P1), when
 // links lose, delay, repeat, reorder and cross messages and daemons of both kinds die.
 test('P1: every token is shown once, in order, from a single generation', (t) => {
-  fc.assert(buildProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
+  fc.assert(buildTokensProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
 // Guards against a simulation too tame to need the mechanism.
 test('P1: the simulation breaks a stream without the check of numbers or of generations', (t) => {
   for (const variant of [decideWithoutNumbers, decideWithoutGenerations]) {
-    const result = fc.check(buildProperty(variant), { seed: SEED, numRuns: RUNS });
+    const result = fc.check(buildTokensProperty(variant), { seed: SEED, numRuns: RUNS });
     t.regex(String(result.errorInstance), /not a prefix of one generation/);
   }
 });
@@ -58,7 +41,7 @@
 test('a stream survives every fault but the loss of its endpoint', (t) => {
   const isSurvivable = ({ kind }: SimulationAction) =>
     kind !== 'kill-endpoint' && kind !== 'advance';
-  const property = fc.property(anyActions, (actions) => {
+  const property = fc.property(anyStreamActions, (actions) => {
     runFaultyStreams(['incremental', 'incremental'], actions.filter(isSurvivable), decideOrThrow);
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
