--- a/packages/capacity/measures/endpoints.ts
+++ b/packages/capacity/measures/endpoints.ts
@@ -10,6 +10,8 @@
   AdmissionState,
   RunningSequence,
 } from '../../decisions/admission/types.js';
+import { DEFAULT_NONCE_SETTINGS } from '../../decisions/idempotency/constants.js';
+import { createNonceTable } from '../../decisions/idempotency/nonces.js';
 import { DEFAULT_BUFFER_LIMITS } from '../../decisions/streams/buffer.js';
 import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 import { createStreamsLogic } from '../../endpoint/streams/streams.js';
@@ -86,6 +88,7 @@
   entry: 'entry-001',
   stream: createId(),
   link: 0,
+  nonce: null,
   body: new Uint8Array(2_400),
 });
 
@@ -94,6 +97,8 @@
     now: () => NOW,
     limits: DEFAULT_BUFFER_LIMITS,
     choosePriority: () => 0,
+    nonces: createNonceTable('incarnation-1', DEFAULT_NONCE_SETTINGS),
+    hashBody: () => '',
   });
   let { state } = logic.init();
   for (let index = 0; index < sequences; index += 1) {
--- a/packages/capacity/measures/moves.ts
+++ b/packages/capacity/measures/moves.ts
@@ -19,7 +19,15 @@
   deadline: NOW + HOUR_MS,
   offset: index * 2,
   ended:
-    standing === 'running' ? null : { outcome: 'done', reason: 'complete', offset: index * 2 + 1 },
+    standing === 'running'
+      ? null
+      : {
+          outcome: 'done',
+          reason: 'complete',
+          offset: index * 2 + 1,
+          author: 'entry-000',
+          notice: 'sent',
+        },
 });
 
 const createLogic = (moves: readonly MoveView[]) =>
@@ -28,6 +36,8 @@
     createId: () => 'nonce',
     process: 'entry-000',
     listMoves: () => moves,
+    webhook: 'none',
+    hash: () => 0,
   });
 
 type Logic = ReturnType<typeof createLogic>;
