Keep an entry daemon alive when the probe of a frozen endpoint daemon fails

Cause: the streams of an HTTP/2 session fail before the session emits its own error. Their resume reopened the same session manager at once, which took the error listener off the dying session, and the unhandled error "PING timed out" ended the process outside the supervisor tree. On a demo, a pause of 4 s of one endpoint daemon with running streams ended both entry daemons. Change: a connection whose call failed is left to its manager, and the next call opens another one; a call that only took too long keeps its connection. Runs: npx ava dist/packages/cluster/frozenEndpoint.test.js failed before (ECONNRESET of the entry daemon) and passed after.

--- /dev/null
+++ b/packages/cluster/frozenEndpoint.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import { startCluster } from './startCluster.js';
+import { buildCaller, fetchBalance, openTestStream, waitForLogged } from './testing.js';
+
+const LONG = 3_000;
+
+// Guards against an entry daemon that ends because one endpoint daemon does not answer: the probe of
+// the frozen connection breaks it, and its running streams resume at once.
+test.serial('a frozen endpoint daemon ends no entry daemon', async (t) => {
+  const cluster = await startCluster({ entryDaemons: 1, engines: [{}], ledgers: 1 });
+  t.teardown(cluster.stop);
+  const entryUrl = cluster.entryUrls[0] ?? '';
+  const caller = buildCaller(cluster, entryUrl);
+  const streams = await Promise.all(
+    ['memo 0', 'memo 1'].map((content) =>
+      openTestStream(caller, { model: cluster.model, content, targetTokens: LONG }),
+    ),
+  );
+  await Promise.all(streams.map((stream) => stream.waitForChunks(5)));
+  const endpoint = cluster.findProcess('endpoint-1');
+  endpoint.freeze();
+  await waitForLogged(entryUrl, 'endpoint-phase-changed', ({ data }) => data?.['to'] === 'gone');
+  for (const stream of streams) {
+    const { end } = await stream.read();
+    t.is(end.kind, 'failed');
+    if (end.kind === 'failed') t.like(end.problem, { code: 'stream-lost' });
+  }
+  t.is((await fetchBalance(caller)).status, 200);
+  endpoint.resume();
+  t.deepEqual(await cluster.findProcess('entry-1').kill('SIGTERM'), { code: 0, signal: null });
+});
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -134,8 +134,10 @@
   readonly close: () => void;
 }
 
+type EndpointRpc = Client<typeof EndpointService>;
+
 interface Connection {
-  readonly client: Client<typeof EndpointService>;
+  readonly client: EndpointRpc;
   readonly manager: Http2SessionManager;
 }
 
@@ -174,7 +176,7 @@
   const connections = new Map<string, Connection>();
   const links = new Map<string, AbortController>();
 
-  const connect = (url: string): Client<typeof EndpointService> => {
+  const connect = (url: string): EndpointRpc => {
     const known = connections.get(url);
     if (known !== undefined) return known.client;
     const manager = createPeerSession(url);
@@ -189,6 +191,18 @@
     return client;
   };
 
+  /**
+   * Leaves a connection whose call failed to its session manager; the next call opens another one.
+   * The streams of a dying HTTP/2 session fail before the session emits its own error. A call that
+   * reopened the same manager in between would take the error listener off the dying session, and
+   * the unhandled error would end this process.
+   */
+  const releaseConnection = (url: string, client: EndpointRpc, error: unknown): void => {
+    // A call that only took too long tells nothing about its connection.
+    if (ConnectError.from(error).code === Code.DeadlineExceeded) return;
+    if (connections.get(url)?.client === client) connections.delete(url);
+  };
+
   const postEvent = (key: LinkKey, { event }: GenerateEvent): 'open' | 'ended' => {
     switch (event.case) {
       case 'started':
@@ -223,6 +237,7 @@
     const opening = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
+    const client = connect(open.url);
     try {
       const message = create(GenerateRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -243,7 +258,7 @@
         stream: requestId,
         link,
       });
-      const events = connect(open.url).generate(message, { signal: controller.signal });
+      const events = client.generate(message, { signal: controller.signal });
       for await (const event of events) {
         clearTimeout(opening);
         if (postEvent(key, event) === 'ended') return;
@@ -251,6 +266,7 @@
       post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
     } catch (error) {
       if (!links.has(linkId)) return;
+      releaseConnection(open.url, client, error);
       const reason = getReason(error);
       post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
     } finally {
@@ -295,6 +311,7 @@
 
   const callOnce = async (call: OpenCall): Promise<void> => {
     const { requestId, attempt } = call;
+    const client = connect(call.url);
     try {
       const message = create(CallRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -315,8 +332,9 @@
         entry,
       });
       const timeoutMs = Math.max(1, Math.ceil(call.deadlineMs));
-      post(toCallCompletion(call, await connect(call.url).call(message, { timeoutMs })));
+      post(toCallCompletion(call, await client.call(message, { timeoutMs })));
     } catch (error) {
+      releaseConnection(call.url, client, error);
       post({ kind: 'call-failed', requestId, attempt, failure: toTransportFailure(error) });
     }
   };
@@ -336,13 +354,15 @@
 
   const askFence = async (question: FenceQuestion): Promise<void> => {
     const { requestId, nonce, incarnation } = question;
+    const client = connect(question.url);
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
-      const response = await connect(question.url).fence(message, { timeoutMs });
+      const response = await client.fence(message, { timeoutMs });
       const result = toFenceAnswer(response.result, response.answer);
       post({ kind: 'fence-answered', requestId, nonce, result });
     } catch (error) {
+      releaseConnection(question.url, client, error);
       const result: FenceAnswer = { kind: 'unreachable', reason: getReason(error) };
       post({ kind: 'fence-answered', requestId, nonce, result });
     }
@@ -359,9 +379,10 @@
       incarnation,
     });
     // A lost cancel is covered by the orphan timeout of the endpoint daemon.
-    await connect(url)
-      .cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS })
-      .catch(() => undefined);
+    const client = connect(url);
+    await client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS }).catch((error: unknown) => {
+      releaseConnection(url, client, error);
+    });
   };
 
   return {
