--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -4,6 +4,7 @@
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
 import { LINK_OPEN_TIMEOUT_MS } from './constants.js';
+import { checkSent, getReason } from './transportErrors.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
@@ -141,18 +142,6 @@
   readonly manager: Http2SessionManager;
 }
 
-const getReason = (error: unknown): string =>
-  error instanceof Error ? error.message : String(error);
-
-const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
-/** A refused connection proves that nothing was sent; every other error leaves it open. */
-const checkSent = (error: unknown): 'sent' | 'unsent' => {
-  const { cause } = ConnectError.from(error);
-  const code = cause instanceof Error && 'code' in cause ? String(cause.code) : '';
-  return UNSENT_CODES.has(code) ? 'unsent' : 'sent';
-};
-
 const decodeAnswer = (answer: CallAnswer): ServiceAnswer => ({
   status: answer.status,
   headers: answer.headers.map(({ name, value }) => ({ name, value })),
