--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -4,6 +4,7 @@
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
 import { LINK_OPEN_TIMEOUT_MS } from './constants.js';
+import { checkSent, getReason } from './transportErrors.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
@@ -138,23 +139,13 @@
   readonly close: () => void;
 }
 
+type EndpointRpc = Client<typeof EndpointService>;
+
 interface Connection {
-  readonly client: Client<typeof EndpointService>;
+  readonly client: EndpointRpc;
   readonly manager: Http2SessionManager;
 }
 
-const getReason = (error: unknown): string =>
-  error instanceof Error ? error.message : String(error);
-
-const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
-/** A refused connection proves that nothing was sent; every other error leaves it open. */
-const checkSent = (error: unknown): 'sent' | 'unsent' => {
-  const { cause } = ConnectError.from(error);
-  const code = cause instanceof Error && 'code' in cause ? String(cause.code) : '';
-  return UNSENT_CODES.has(code) ? 'unsent' : 'sent';
-};
-
 const decodeAnswer = (answer: CallAnswer): ServiceAnswer => ({
   status: answer.status,
   headers: answer.headers.map(({ name, value }) => ({ name, value })),
@@ -178,7 +169,7 @@
   const connections = new Map<string, Connection>();
   const links = new Map<string, AbortController>();
 
-  const connect = (url: string): Client<typeof EndpointService> => {
+  const connect = (url: string): EndpointRpc => {
     const known = connections.get(url);
     if (known !== undefined) return known.client;
     const manager = createPeerSession(url);
@@ -193,6 +184,18 @@
     return client;
   };
 
+  /**
+   * Leaves a connection whose call failed to its session manager; the next call opens another one.
+   * The streams of a dying HTTP/2 session fail before the session emits its own error. A call that
+   * reopened the same manager in between would take the error listener off the dying session, and
+   * the unhandled error would end this process.
+   */
+  const releaseConnection = (url: string, client: EndpointRpc, error: unknown): void => {
+    // A call that only took too long tells nothing about its connection.
+    if (ConnectError.from(error).code === Code.DeadlineExceeded) return;
+    if (connections.get(url)?.client === client) connections.delete(url);
+  };
+
   const postEvent = (key: LinkKey, { event }: GenerateEvent): 'open' | 'ended' => {
     switch (event.case) {
       case 'started':
@@ -232,6 +235,7 @@
     const opening = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
+    const client = connect(open.url);
     try {
       const message = create(GenerateRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -253,7 +257,7 @@
         link,
         nonce: open.nonce ?? '',
       });
-      const events = connect(open.url).generate(message, { signal: controller.signal });
+      const events = client.generate(message, { signal: controller.signal });
       for await (const event of events) {
         clearTimeout(opening);
         if (postEvent(key, event) === 'ended') return;
@@ -261,6 +265,7 @@
       post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
     } catch (error) {
       if (!links.has(linkId)) return;
+      releaseConnection(open.url, client, error);
       const reason = getReason(error);
       post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
     } finally {
@@ -310,6 +315,7 @@
       post({ kind: 'call-failed', requestId, attempt, failure: tooLarge });
       return;
     }
+    const client = connect(call.url);
     try {
       const message = create(CallRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -330,8 +336,9 @@
         entry,
       });
       const timeoutMs = Math.max(1, Math.ceil(call.deadlineMs));
-      post(toCallCompletion(call, await connect(call.url).call(message, { timeoutMs })));
+      post(toCallCompletion(call, await client.call(message, { timeoutMs })));
     } catch (error) {
+      releaseConnection(call.url, client, error);
       post({ kind: 'call-failed', requestId, attempt, failure: toTransportFailure(error) });
     }
   };
@@ -351,13 +358,15 @@
 
   const askFence = async (question: FenceQuestion): Promise<void> => {
     const { requestId, nonce, incarnation } = question;
+    const client = connect(question.url);
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
-      const response = await connect(question.url).fence(message, { timeoutMs });
+      const response = await client.fence(message, { timeoutMs });
       const result = toFenceAnswer(response.result, response.answer);
       post({ kind: 'fence-answered', requestId, nonce, result });
     } catch (error) {
+      releaseConnection(question.url, client, error);
       const result: FenceAnswer = { kind: 'unreachable', reason: getReason(error) };
       post({ kind: 'fence-answered', requestId, nonce, result });
     }
@@ -374,9 +383,10 @@
       incarnation,
     });
     // A lost cancel is covered by the orphan timeout of the endpoint daemon.
-    await connect(url)
-      .cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS })
-      .catch(() => undefined);
+    const client = connect(url);
+    await client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS }).catch((error: unknown) => {
+      releaseConnection(url, client, error);
+    });
   };
 
   return {
