Bound the intent chains that an entry daemon keeps

Cause: the number of timed keys had no bound but the rate of their arrival, the search for expired keys looked at 2,000 chains every 5 s, so that more than 400 new keys a second outran it, and 64 chains were carried forward every 5 s, so that 100,000 chains took 2.2 h, within which retention may drop some.

Change: new timed keys are refused as not-run above maxTimedKeys (100,000). The search and the carrying forward take a share of the table each round. Texts that chains have in common are kept once.

Conclusion: the chains are bounded by the window and by number. The defaults of both bounds together (200,000 chains, about 137 MB) exceed 128 MB.

--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -10,11 +10,26 @@
  */
 export const CLOCK_MARGIN_MS: Millis = 5 * 60_000;
 
+/** Names of customers, endpoints and daemons of which one copy is kept for all chains. */
+export const MAX_SHARED_TEXTS = 10_000;
+
 /** Early abandoned nonces remembered per key; a forgotten one only costs a fence. */
 export const MAX_EARLY_ABANDONED = 8;
 
-/** Chains that one search for expired keys looks at. */
-export const MAX_EXPIRY_VISITS = 2_000;
+/** Chains that one search for expired keys looks at, at least. */
+export const MIN_EXPIRY_VISITS = 2_000;
+
+/** Time within which the search for expired keys visits every chain. */
+export const EXPIRY_SWEEP_MS: Millis = 5 * 60_000;
+
+/** Chains that one round carries forward, at least. */
+export const MIN_CARRIED = 64;
+
+/**
+ * Time within which every chain is carried forward once it is due. With the age at which it is due
+ * it must lie below the log's retention time, or a key would be forgotten and could run again.
+ */
+export const CARRY_ROUND_MS: Millis = 30 * 60_000;
 
 /** Share of starts that fences may exceed the bound of the nonce table by, so that keys can be settled when it is full. */
 export const FENCE_HEADROOM = 1.25;
@@ -22,6 +37,7 @@
 export const DEFAULT_KEY_SETTINGS: KeySettings = {
   keyWindowMs: 24 * 3_600_000,
   maxUntimedKeys: 100_000,
+  maxTimedKeys: 100_000,
 };
 
 export const DEFAULT_INTENT_LIMITS: IntentLimits = {
--- a/packages/decisions/idempotency/intent.test.ts
+++ b/packages/decisions/idempotency/intent.test.ts
@@ -26,8 +26,8 @@
   standing: 'exact',
   nextOffset: 0,
   chain: undefined,
-  untimedKeys: 0,
-  keys: { keyWindowMs: 1_000, maxUntimedKeys: 10 },
+  kept: { timed: 0, untimed: 0 },
+  keys: { keyWindowMs: 1_000, maxUntimedKeys: 10, maxTimedKeys: 10 },
   limits: DEFAULT_INTENT_LIMITS,
 };
 const PLACE = { endpoint: 'e', incarnation: 'i' };
--- a/packages/decisions/idempotency/keys.test.ts
+++ b/packages/decisions/idempotency/keys.test.ts
@@ -2,13 +2,13 @@
 import { checkKey, resolveIssueTime } from './keys.js';
 import type { ChainState, KeyedRequest } from './types.js';
 
-const SETTINGS = { keyWindowMs: 1_000, maxUntimedKeys: 2 };
+const SETTINGS = { keyWindowMs: 1_000, maxUntimedKeys: 2, maxTimedKeys: 3 };
 const NOW = 1_700_000_000_000;
 const REQUEST: KeyedRequest = { customer: 'c', key: 'k', fingerprint: 'f', issuedAt: NOW };
 const CHAIN: ChainState = { ...REQUEST, link: null, abandonedEarly: [] };
 
-const check = (request: KeyedRequest, chain?: ChainState, untimed = 0) => {
-  const result = checkKey(request, chain, untimed, NOW, SETTINGS);
+const check = (request: KeyedRequest, chain?: ChainState, untimed = 0, timed = 0) => {
+  const result = checkKey(request, chain, { timed, untimed }, NOW, SETTINGS);
   return result.isOk() ? result.value : `${result.error.verdict} ${result.error.code}`;
 };
 
@@ -40,3 +40,11 @@
   t.is(check(untimed, undefined, 2), 'not-run overloaded');
   t.is(check(untimed, { ...CHAIN, issuedAt: null }, 2), 'accepted');
 });
+
+// Guards against a burst of keys that fills the memory before the kept window ends.
+test('new timed keys are refused at their bound, known and untimed ones are not', (t) => {
+  t.is(check(REQUEST, undefined, 0, 2), 'accepted');
+  t.is(check(REQUEST, undefined, 0, 3), 'not-run overloaded');
+  t.is(check(REQUEST, CHAIN, 0, 3), 'accepted');
+  t.is(check({ ...REQUEST, issuedAt: null }, undefined, 0, 3), 'accepted');
+});
--- a/packages/decisions/idempotency/keys.ts
+++ b/packages/decisions/idempotency/keys.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { validate, version } from 'uuid';
 import { CLOCK_MARGIN_MS } from './constants.js';
-import type { ChainState, KeySettings, KeyedRequest } from './types.js';
+import type { ChainState, KeptKeys, KeySettings, KeyedRequest } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
@@ -87,7 +87,7 @@
  *
  * @param request - customer, key, fingerprint and time of issue
  * @param chain - the key's chain in the table, if any
- * @param untimedKeys - keys without a time of issue in the table
+ * @param kept - numbers of keys in the table
  * @param now - current instant
  * @param settings - kept window and bound of untimed keys
  * @returns `accepted`, or a failure with code `key-expired`, `key-conflict` or `overloaded`
@@ -95,7 +95,7 @@
 export const checkKey = (
   request: KeyedRequest,
   chain: ChainState | undefined,
-  untimedKeys: number,
+  kept: KeptKeys,
   now: Millis,
   settings: KeySettings,
 ): Result<'accepted', Failure> => {
@@ -104,8 +104,11 @@
     if (timely.isErr()) return timely;
   }
   if (chain !== undefined) return checkChain(request, chain);
-  if (request.issuedAt === null && untimedKeys >= settings.maxUntimedKeys) {
+  if (request.issuedAt === null && kept.untimed >= settings.maxUntimedKeys) {
     return refuse('overloaded', 'too many keys without a time of issue are kept');
   }
+  if (request.issuedAt !== null && kept.timed >= settings.maxTimedKeys) {
+    return refuse('overloaded', 'too many keys are kept');
+  }
   return Ok('accepted');
 };
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -5,7 +5,7 @@
 import type { IntentTable } from './table.js';
 import type { IntentStreamRecord, Nonce } from './types.js';
 
-const SETTINGS = { keyWindowMs: 1_000, maxUntimedKeys: 10 };
+const SETTINGS = { keyWindowMs: 1_000, maxUntimedKeys: 10, maxTimedKeys: 10 };
 const OF_KEY = { format: 1, customer: 'c', key: 'k', issuedAt: 0, at: 0 } as const;
 
 const buildIntent = (nonce: Nonce, previous: Nonce | null): IntentStreamRecord => {
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -1,5 +1,7 @@
+import { takeSharedTexts } from './sharedTexts.js';
+import type { SharedTexts } from './sharedTexts.js';
 import { createChainState, foldChain, toChainState } from './chain.js';
-import { MAX_EXPIRY_VISITS } from './constants.js';
+import { MIN_EXPIRY_VISITS } from './constants.js';
 import { isKeyExpired } from './keys.js';
 import type {
   CarryForwardRecord,
@@ -7,6 +9,7 @@
   ChainState,
   FoldResult,
   IntentStreamRecord,
+  KeptKeys,
   KeySettings,
   TableStanding,
 } from './types.js';
@@ -44,6 +47,7 @@
   readonly chains: Map<string, TableChain>;
   /** Where the search for expired chains goes on. */
   sweep: Iterator<TableChain> | null;
+  readonly texts: SharedTexts;
   standing: TableStanding;
   nextOffset: Offset;
   untimedKeys: number;
@@ -68,11 +72,15 @@
   settings,
   chains: new Map(),
   sweep: null,
+  texts: new Map(),
   standing: 'catching-up',
   nextOffset: 0,
   untimedKeys: 0,
 });
 
+/** Shared by all chains, because only a table that catches up keeps records. */
+const NO_RECORDS: Placed[] = [];
+
 const toChainId = (customer: CustomerId, key: string): string => `${customer}\u0000${key}`;
 
 /**
@@ -89,6 +97,17 @@
   key: string,
 ): ChainState | undefined => table.chains.get(toChainId(customer, key))?.state;
 
+/**
+ * Counts the keys of a table.
+ *
+ * @param table - the table
+ * @returns numbers of keys with and without a time of issue
+ */
+export const countKeys = (table: IntentTable): KeptKeys => ({
+  timed: table.chains.size - table.untimedKeys,
+  untimed: table.untimedKeys,
+});
+
 const addChain = (
   table: IntentTable,
   state: ChainState,
@@ -99,7 +118,7 @@
     state,
     base: undefined,
     baseAsOf: 0,
-    recent: [],
+    recent: NO_RECORDS,
     lastOffset: offset,
     coverOffset: offset,
     coverAt: at,
@@ -120,7 +139,10 @@
   const fold = foldChain(chain.state, record);
   if (fold.state !== chain.state) chain.lastOffset = offset;
   chain.state = fold.state;
-  if (table.standing === 'catching-up') chain.recent.push({ offset, record });
+  if (table.standing === 'catching-up') {
+    if (chain.recent === NO_RECORDS) chain.recent = [];
+    chain.recent.push({ offset, record });
+  }
   return fold.result;
 };
 
@@ -185,9 +207,10 @@
   if (offset < table.nextOffset) return 'ignored';
   table.nextOffset = offset + 1;
   if (isKeyExpired(record.issuedAt, now, table.settings)) return 'expired';
-  return record.kind === 'carry-forward'
-    ? foldCarried(table, offset, record)
-    : foldPlain(table, offset, record);
+  const shared = takeSharedTexts(table.texts, record);
+  return shared.kind === 'carry-forward'
+    ? foldCarried(table, offset, shared)
+    : foldPlain(table, offset, shared);
 };
 
 /** Retention dropped unread records, so states are exact only up to the table's offset. */
@@ -196,7 +219,7 @@
     for (const chain of table.chains.values()) {
       chain.base = chain.state;
       chain.baseAsOf = table.nextOffset;
-      chain.recent = [];
+      chain.recent = NO_RECORDS;
     }
   }
   table.standing = 'catching-up';
@@ -212,7 +235,7 @@
   table.chains.clear();
   for (const [id, chain] of ordered) {
     chain.base = undefined;
-    chain.recent = [];
+    chain.recent = NO_RECORDS;
     table.chains.set(id, chain);
   }
 };
@@ -257,7 +280,7 @@
 export const expireChains = (
   table: IntentTable,
   now: Millis,
-  maxVisits: number = MAX_EXPIRY_VISITS,
+  maxVisits: number = MIN_EXPIRY_VISITS,
 ): number => {
   const { settings } = table;
   table.sweep ??= table.chains.values();
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -1,6 +1,6 @@
 import { planCarryForward } from '../carryForward.js';
 import { createIntentState, decideIntent } from '../intent.js';
-import { findChain } from '../table.js';
+import { countKeys, findChain } from '../table.js';
 import type {
   ChainState,
   IntentEffect,
@@ -40,7 +40,7 @@
     standing: world.mechanisms.readBack === 'disabled' ? 'exact' : table.standing,
     nextOffset: table.nextOffset,
     chain: applyReadBack(world, state, findChain(table, customer, key)),
-    untimedKeys: table.untimedKeys,
+    kept: countKeys(table),
     keys: table.settings,
     limits: LIMITS,
   };
--- a/packages/decisions/idempotency/testing/world.ts
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -10,7 +10,7 @@
 const START: Millis = 1_700_000_000_000;
 export const WINDOW_MS: Millis = 60_000;
 const READ_LIMIT = 4;
-const KEYS = { keyWindowMs: WINDOW_MS, maxUntimedKeys: 100 };
+const KEYS = { keyWindowMs: WINDOW_MS, maxUntimedKeys: 100, maxTimedKeys: 100 };
 const NONCES = {
   windowMs: WINDOW_MS,
   answerKeepMs: 5_000,
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -100,6 +100,16 @@
   readonly keyWindowMs: Millis;
   /** Largest number of keys without a time of issue. */
   readonly maxUntimedKeys: number;
+  /** Largest number of keys with a time of issue. */
+  readonly maxTimedKeys: number;
+}
+
+/** Numbers of keys in a table. */
+export interface KeptKeys {
+  /** Keys with a time of issue. */
+  readonly timed: number;
+  /** Keys without one, which never expire. */
+  readonly untimed: number;
 }
 
 /** A request under a key, as the front end hands it over. */
@@ -230,7 +240,8 @@
   readonly nextOffset: Offset;
   /** The key's chain, or undefined when the table has none. */
   readonly chain: ChainState | undefined;
-  readonly untimedKeys: number;
+  /** Keys in the table. */
+  readonly kept: KeptKeys;
   readonly keys: KeySettings;
   readonly limits: IntentLimits;
 }
--- a/packages/entry/platform/constants.ts
+++ b/packages/entry/platform/constants.ts
@@ -27,9 +27,6 @@
 /** Age of a chain's newest record after which it is carried forward. */
 export const CARRY_AFTER_MS = 3_600_000;
 
-/** Chains carried forward in one round. */
-export const CARRY_MAX_RECORDS = 64;
-
 /** Time limit of one request to the log, without the wait of a long poll. */
 export const LOG_TIMEOUT_MS = 2_000;
 
--- a/packages/entry/platform/intents/intents.ts
+++ b/packages/entry/platform/intents/intents.ts
@@ -11,11 +11,11 @@
   foldIntentBatch,
 } from '../../../decisions/idempotency/table.js';
 import type { IntentTable } from '../../../decisions/idempotency/table.js';
+import { planUpkeep } from '../../../decisions/idempotency/upkeep.js';
 import type { IntentStreamRecord, KeySettings } from '../../../decisions/idempotency/types.js';
 import type { EntryEffect, IntentsEvent, LogBatch } from '../../events.js';
 import {
   CARRY_AFTER_MS,
-  CARRY_MAX_RECORDS,
   READ_LIMIT,
   READ_RETRY_MS,
   READ_WAIT_MS,
@@ -103,13 +103,14 @@
     delayMs: UPKEEP_MS,
     event: { to: 'intents', kind: 'upkeep' },
   };
-  expireChains(state.table, now);
+  const plan = planUpkeep(state.table.chains.size, UPKEEP_MS);
+  expireChains(state.table, now, plan.visits);
   const { firstOffset } = state;
   const carried = planCarryForward(state.table, {
     firstOffset,
     now,
     carryAfterMs: CARRY_AFTER_MS,
-    maxRecords: CARRY_MAX_RECORDS,
+    maxRecords: plan.carried,
   });
   const appends = carried.map((record): EntryEffect => ({
     kind: 'post',
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, CustomerId, ModelName, RequestId, VersionName } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
-import type { ChainState, TableStanding } from '../../decisions/idempotency/types.js';
+import type { ChainState, KeptKeys, TableStanding } from '../../decisions/idempotency/types.js';
 import type { OwnTable } from '../../decisions/placement/own.js';
 import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
 import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
@@ -24,6 +24,7 @@
     readonly queueCapacity: number;
     readonly keyWindowMs: Millis;
     readonly maxUntimedKeys: number;
+    readonly maxTimedKeys: number;
   };
   readonly getCustomerDefault: (customer: CustomerId) => ClassName | undefined;
   /** Quarantined fingerprints with their expiry. */
@@ -43,7 +44,7 @@
     readonly log: 'up' | 'out';
     readonly standing: TableStanding;
     readonly nextOffset: number;
-    readonly untimedKeys: number;
+    readonly kept: KeptKeys;
   };
   readonly own: OwnTable;
   readonly survival: SurvivalTable;
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -79,13 +79,13 @@
 };
 
 const toView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
-  const { log, standing, nextOffset, untimedKeys } = inputs.getIntentLog();
+  const { log, standing, nextOffset, kept } = inputs.getIntentLog();
   return {
     now: inputs.now(),
     log,
     standing,
     nextOffset,
-    untimedKeys,
+    kept,
     chain: inputs.findChain(state.request.customer, state.key),
     keys: inputs.limits,
     limits: DEFAULT_INTENT_LIMITS,
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -49,7 +49,7 @@
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import type { ChildFailure } from '../core/supervision/types.js';
 import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
-import { findChain } from '../decisions/idempotency/table.js';
+import { countKeys, findChain } from '../decisions/idempotency/table.js';
 import { getShare } from '../decisions/moves/move.js';
 import { createOwnTable } from '../decisions/placement/own.js';
 import { createBudgetTable } from '../decisions/retries/budgetTable.js';
@@ -146,8 +146,8 @@
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
     getIntentLog: () => {
       const { table, log } = states.intents;
-      const { standing, nextOffset, untimedKeys } = table;
-      return { log, standing, nextOffset, untimedKeys };
+      const { standing, nextOffset } = table;
+      return { log, standing, nextOffset, kept: countKeys(table) };
     },
     own: createOwnTable(survival),
     survival,
--- a/packages/settings/entrySchema.ts
+++ b/packages/settings/entrySchema.ts
@@ -4,6 +4,7 @@
   DEFAULT_KEY_WINDOW_MS,
   DEFAULT_MAX_BODY_BYTES,
   DEFAULT_MAX_REQUESTS,
+  DEFAULT_MAX_TIMED_KEYS,
   DEFAULT_MAX_UNTIMED_KEYS,
   DEFAULT_POLICY,
   DEFAULT_QUEUE_CAPACITY,
@@ -92,6 +93,10 @@
       DEFAULT_MAX_UNTIMED_KEYS,
       'Keys without a time of issue that are kept; more are refused.',
     ),
+    maxTimedKeys: buildCount(
+      DEFAULT_MAX_TIMED_KEYS,
+      'Keys with a time of issue that are kept; more are refused.',
+    ),
   })
   .prefault({});
 
