--- a/packages/decisions/fuzz/suites.fixture.ts
+++ b/packages/decisions/fuzz/suites.fixture.ts
@@ -11,8 +11,13 @@
   buildOrderProperty,
 } from '../membership/membershipProperty.fixture.js';
 import { buildMoveProperty, buildReportsProperty } from '../moves/moveProperty.fixture.js';
+import {
+  ALL_REFUSAL_MECHANISMS,
+  buildRefusalProperty,
+} from '../retries/attemptsSimulation.fixture.js';
 import { buildBufferProperty } from '../streams/bufferProperty.fixture.js';
 import { decideDelivery } from '../streams/delivery.js';
+import { buildShutdownProperty } from '../streams/shutdownProperty.fixture.js';
 import { buildAnswersProperty, buildTokensProperty } from '../streams/streamProperties.fixture.js';
 
 const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
@@ -55,7 +60,9 @@
   buildSuite('at-most-once/retention', buildAtMostOnceProperty('retention')),
   buildSuite('streams/tokens', buildTokensProperty(decideDelivery)),
   buildSuite('streams/answers', buildAnswersProperty(decideDelivery)),
+  buildSuite('streams/shutdown', buildShutdownProperty(decideDelivery)),
   buildSuite('streams/buffer', buildBufferProperty()),
+  buildSuite('retries/not-run', buildRefusalProperty(ALL_REFUSAL_MECHANISMS)),
   buildSuite('moves/versions', buildMoveProperty()),
   buildSuite('moves/reports', buildReportsProperty()),
   buildSuite('configuration/never-reverts', buildConfigurationProperty(ALL_MECHANISMS)),
--- /dev/null
+++ b/packages/decisions/retries/notRun.promise.test.ts
@@ -0,0 +1,150 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { ALL_REFUSAL_MECHANISMS, buildRefusalProperty } from './attemptsSimulation.fixture.js';
+import type { RefusalMechanisms } from './attemptsSimulation.fixture.js';
+import { assertNever } from '../../core/assertNever.js';
+import { createFailure } from '../../core/verdict.js';
+import { buildCommandList, runCommands } from '../idempotency/testing/fuzz.js';
+import type { Mechanisms } from '../idempotency/testing/types.js';
+import { decideDelivery, initDelivery } from '../streams/delivery.js';
+import type { DecideDelivery } from '../streams/faultyStreams.fixture.js';
+import { buildTokensProperty } from '../streams/streamProperties.fixture.js';
+import type { DeliveryEvent } from '../streams/types.js';
+import { mergeVerdicts } from '../streams/verdicts.js';
+
+const SEED = 606;
+const RUNS = 2_000;
+const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+const TOLD_NOT_RUN = /told not-run and ran/;
+
+// Guards against a refusal that forgets an earlier attempt or a generation that ran (P6), when
+// links lose, delay and refuse messages and endpoint daemons lapse, leave, restart and break.
+test('P6: a call or resume that is refused as not run was not run', (t) => {
+  fc.assert(buildRefusalProperty(ALL_REFUSAL_MECHANISMS), { seed: SEED, numRuns: RUNS });
+  t.pass();
+});
+
+const VARIANTS: Readonly<Record<string, readonly [RefusalMechanisms, RegExp]>> = {
+  'the verdicts of earlier attempts': [
+    { ...ALL_REFUSAL_MECHANISMS, resolve: (_earlier, failure) => failure },
+    /a call was told/,
+  ],
+  'the verdict of a refused resume': [
+    { ...ALL_REFUSAL_MECHANISMS, refuseResume: (failure) => failure },
+    /a resume was told/,
+  ],
+};
+
+// Guards against a simulation too tame to need the mechanism.
+for (const [name, [mechanisms, violation]] of Object.entries(VARIANTS)) {
+  test(`P6: the simulation finds a violation without ${name}`, (t) => {
+    const result = fc.check(buildRefusalProperty(mechanisms), { seed: SEED, numRuns: RUNS });
+    t.regex(String(result.errorInstance), violation);
+  });
+}
+
+/** How one attempt of a generation ends; all but a refused start may have run. */
+type AttemptEnd = 'start-refused' | 'engine-failed' | 'endpoint-gone' | 'resume-refused';
+
+const anyAttempts = fc.array(
+  fc.constantFrom<AttemptEnd[]>(
+    'start-refused',
+    'engine-failed',
+    'endpoint-gone',
+    'resume-refused',
+  ),
+  { maxLength: 5 },
+);
+
+const REFUSED = createFailure('not-run', 'overloaded', 'no room');
+const FAILED = createFailure('may-have-run', 'endpoint-failed', 'the engine broke off');
+const SHED = createFailure('not-run', 'shed', 'the queue is full');
+
+const listEvents = (end: AttemptEnd, attempt: number): readonly DeliveryEvent[] => {
+  const generationId = `g${attempt.toString()}`;
+  const source = { generationId, endpoint: 'e', incarnation: 'i' };
+  const started = { kind: 'attempt-started', source } as const;
+  switch (end) {
+    case 'start-refused':
+      return [started, { kind: 'failed', generationId, link: 0, failure: REFUSED }];
+    case 'engine-failed':
+      return [started, { kind: 'failed', generationId, link: 0, failure: FAILED }];
+    case 'endpoint-gone':
+      return [started, { kind: 'endpoint-gone', endpoint: 'e', incarnation: 'i' }];
+    case 'resume-refused':
+      return [
+        started,
+        { kind: 'link-lost', generationId, link: 0, now: 0 },
+        { kind: 'failed', generationId, link: 1, failure: REFUSED },
+      ];
+    default:
+      return assertNever(end);
+  }
+};
+
+const buildGenerationProperty = (decide: DecideDelivery) =>
+  fc.property(anyAttempts, fc.constantFrom('whole', 'incremental'), (ends, delivery) => {
+    const gaveUp: DeliveryEvent = { kind: 'gave-up', failure: SHED };
+    let state = initDelivery(delivery);
+    for (const event of [...ends.flatMap(listEvents), gaveUp]) {
+      const step = decide(state, event);
+      state = step.state;
+      for (const effect of step.effects) {
+        const isNotRun = effect.kind === 'fail' && effect.failure.verdict === 'not-run';
+        if (isNotRun && ends.some((end) => end !== 'start-refused')) {
+          throw new Error('told not-run and ran');
+        }
+      }
+    }
+    return state.phase === 'ended';
+  });
+
+// Guards against a generation that is told as not run although one of its attempts started.
+test('P6: a generation that is refused as not run was not run', (t) => {
+  fc.assert(buildGenerationProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
+  fc.assert(buildTokensProperty(decideDelivery), { seed: SEED, numRuns: 500 });
+  t.pass();
+});
+
+/** Takes the refusal of a resume for one of the start. */
+const decideWithoutLinks: DecideDelivery = (state, event) => {
+  const step = decideDelivery(state, event);
+  if (event.kind !== 'failed' || step.state.phase !== 'idle') return step;
+  const verdict = mergeVerdicts(state.verdict, event.failure.verdict);
+  return { ...step, state: { ...step.state, verdict } };
+};
+
+/** Forgets what earlier attempts proved. */
+const decideWithoutVerdicts: DecideDelivery = (state, event) =>
+  decideDelivery({ ...state, verdict: 'not-run' }, event);
+
+// Guards against a simulation too tame to need the mechanism.
+test('P6: the simulation finds a violation without the link check or the merged verdicts', (t) => {
+  for (const variant of [decideWithoutLinks, decideWithoutVerdicts]) {
+    const result = fc.check(buildGenerationProperty(variant), { seed: SEED, numRuns: RUNS });
+    t.regex(String(result.errorInstance), TOLD_NOT_RUN);
+  }
+});
+
+const buildKeyedProperty = (mechanisms: Mechanisms) =>
+  fc.property(buildCommandList('faults'), (commands) => {
+    const { violations } = runCommands(commands, mechanisms);
+    const told = violations.filter((violation) => /was told not-run and ran/.test(violation));
+    if (told.length > 0) throw new Error(told.join('; '));
+  });
+
+// Guards against a call with a key that is told as not run while its nonce can still start.
+test('P6: a call with a key that is refused as not run was not run', (t) => {
+  fc.assert(buildKeyedProperty(KEPT), { seed: SEED, numRuns: 500 });
+  t.pass();
+});
+
+// Guards against a simulation too tame to need the fence.
+test('P6: the simulation finds a violation without the fence', (t) => {
+  const result = fc.check(buildKeyedProperty({ ...KEPT, fence: 'disabled' }), {
+    seed: SEED,
+    numRuns: RUNS,
+    endOnFailure: true,
+  });
+  t.regex(String(result.errorInstance), TOLD_NOT_RUN);
+});
--- a/packages/decisions/streams/faultyStreams.fixture.ts
+++ b/packages/decisions/streams/faultyStreams.fixture.ts
@@ -11,6 +11,7 @@
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { createFailure } from '../../core/verdict.js';
+import type { Verdict } from '../../core/verdict.js';
 
 /** Faults and progress of the simulated system; `pick` selects an object modulo their number. */
 export interface SimulationAction {
@@ -46,6 +47,10 @@
   end: 'open' | 'finished' | 'failed';
   usage: string;
   violation: string | null;
+  /** Verdict of the failure that the caller was told. */
+  told: Verdict | null;
+  /** Generations that were asked for on behalf of the caller's request. */
+  asked: string[];
 }
 
 interface EndpointMessage {
@@ -150,6 +155,7 @@
       incarnation: (incarnations[endpoint] ?? 0).toString(),
     };
     totals.set(source.generationId, getTotal(serial));
+    caller.asked.push(source.generationId);
     stepCaller(caller, { kind: 'attempt-started', source });
     const { stream } = caller;
     const event = { kind: 'reader-opened', stream, link: 0, fromNumber: 0, now } as const;
@@ -162,6 +168,9 @@
     caller.stream = `s${serial.toString()}`;
     if (caller.seen.length === 0 || source === null || caller.delivery === 'whole') {
       caller.state = initDelivery(caller.delivery);
+      // Another entry daemon counts its own attempts, and knows of no generation before.
+      caller.attempts = 0;
+      caller.asked = [];
       startAttempt(caller);
       return;
     }
@@ -182,6 +191,7 @@
         return;
       case 'fail':
         caller.end = 'failed';
+        caller.told = effect.failure.verdict;
         return;
       case 'resume':
         sendToBuffer(effect.source, {
@@ -327,6 +337,8 @@
     end: 'open',
     usage: '',
     violation: null,
+    told: null,
+    asked: [],
   }));
 
   const runWithoutFaults = (): void => {
@@ -345,6 +357,8 @@
     if (!isPrefix) return `not a prefix of one generation: ${caller.seen.join(' ')}`;
     if (caller.violation !== null) return caller.violation;
     if (caller.end === 'open') return 'the stream never ended';
+    const hasRun = caller.asked.some((asked) => generations.has(asked));
+    if (caller.told === 'not-run' && hasRun) return 'told not-run and ran';
     if (caller.end === 'failed') return null;
     const isWhole =
       caller.seen.length === totals.get(generationId) && caller.usage === `usage:${generationId}`;
@@ -356,6 +370,8 @@
   for (const caller of callers) startAttempt(caller);
   for (const action of actions) runAction(action);
   runWithoutFaults();
+  // A request that is still on its way may start after its caller was told the end.
+  for (const message of messages.splice(0)) deliverMessage(message);
   return callers.map(checkCaller).filter((violation) => violation !== null);
 };
 
@@ -376,12 +392,3 @@
     const violations = runFaultyStreams(deliveries, actions, decide);
     if (violations.length > 0) throw new Error(violations.join('; '));
   });
-
-/** Variant that takes every answer for one of its own generation. */
-export const decideWithoutGenerations: DecideDelivery = (state, event) =>
-  decideDelivery(
-    state,
-    event.kind === 'chunks' || event.kind === 'finished'
-      ? { ...event, generationId: state.source?.generationId ?? event.generationId }
-      : event,
-  );
--- a/packages/decisions/streams/streamProperties.fixture.ts
+++ b/packages/decisions/streams/streamProperties.fixture.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { decideDelivery } from './delivery.js';
 import { buildStreamProperty } from './faultyStreams.fixture.js';
 import type { DecideDelivery, SimulationAction } from './faultyStreams.fixture.js';
 
@@ -41,3 +42,12 @@
  */
 export const buildAnswersProperty = (decide: DecideDelivery) =>
   buildStreamProperty(['whole', 'incremental', 'whole'], anyAnswerActions, decide);
+
+/** Variant that takes every answer for one of its own generation. */
+export const decideWithoutGenerations: DecideDelivery = (state, event) =>
+  decideDelivery(
+    state,
+    event.kind === 'chunks' || event.kind === 'finished'
+      ? { ...event, generationId: state.source?.generationId ?? event.generationId }
+      : event,
+  );
--- a/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
+++ b/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
@@ -1,9 +1,13 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { decideDelivery } from './delivery.js';
-import { decideWithoutGenerations, runFaultyStreams } from './faultyStreams.fixture.js';
+import { runFaultyStreams } from './faultyStreams.fixture.js';
 import type { DecideDelivery, SimulationAction } from './faultyStreams.fixture.js';
-import { anyStreamActions, buildTokensProperty } from './streamProperties.fixture.js';
+import {
+  anyStreamActions,
+  buildTokensProperty,
+  decideWithoutGenerations,
+} from './streamProperties.fixture.js';
 
 const SEED = 20_261_204;
 const RUNS = 1_500;
--- a/packages/decisions/streams/wholeAnswer.promise.test.ts
+++ b/packages/decisions/streams/wholeAnswer.promise.test.ts
@@ -1,9 +1,8 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { decideDelivery } from './delivery.js';
-import { decideWithoutGenerations } from './faultyStreams.fixture.js';
 import type { DecideDelivery } from './faultyStreams.fixture.js';
-import { buildAnswersProperty } from './streamProperties.fixture.js';
+import { buildAnswersProperty, decideWithoutGenerations } from './streamProperties.fixture.js';
 
 const SEED = 7_041;
 const RUNS = 1_500;
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -46,6 +46,7 @@
   place: null,
   waiting: 'no',
   lastFailureText: '',
+  verdict: 'not-run',
 });
 
 /**
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -60,6 +60,7 @@
   place: null,
   waiting: 'no',
   lastFailureText: '',
+  verdict: 'not-run',
   delivery: initDelivery(
     policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
   ),
@@ -191,6 +192,7 @@
     },
     waiting: 'no',
     lastFailureText: '',
+    verdict: 'may-have-run',
     delivery: resumed.state,
     firstChunkAt: null,
     lastChunkAt: null,
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -58,6 +58,7 @@
     place: null,
     waiting: 'no',
     lastFailureText: '',
+    verdict: 'not-run',
     intent: createIntentState({
       requestId: request.requestId,
       entry: inputs.process,
--- /dev/null
+++ b/packages/entry/requests/outcomes.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import { DEFAULT_SERVICE_CLASS } from './classes.js';
+import type { RequestsInputs } from './inputs.js';
+import { failRequest } from './outcomes.js';
+import { decideNextAttempt } from './retrying.js';
+import type { CallState } from './types.js';
+import { createFailure } from '../../core/verdict.js';
+import { createBudgetTable } from '../../decisions/retries/budgetTable.js';
+
+const INPUTS = {
+  now: () => 0,
+  random: { next: () => 0 },
+  budgets: createBudgetTable(),
+  own: { releasePlacement: () => undefined },
+  suspicions: { apply: () => [] },
+} as unknown as RequestsInputs;
+
+const CALL = {
+  kind: 'call',
+  request: { requestId: 'r', customer: 'c' },
+  policy: DEFAULT_SERVICE_CLASS,
+  deadlineAt: 60_000,
+  excluded: new Set(),
+  attempts: 1,
+  bounces: 0,
+  place: null,
+  waiting: 'no',
+  lastFailureText: '',
+  verdict: 'not-run',
+} as unknown as CallState;
+
+// Guards against a call that ran and whose answer was lost, and that the queue then refuses as not
+// run (P6).
+test('a refusal after an attempt that may have run is told as may-have-run', (t) => {
+  const lost = createFailure('may-have-run', 'endpoint-failed', 'the answer was lost');
+  const next = decideNextAttempt(CALL, lost, INPUTS);
+  t.is(next.kind, 'again');
+  const changes = next.kind === 'again' ? next.changes : {};
+  const shed = createFailure('not-run', 'shed', 'the queue is full');
+  const told = failRequest({ ...CALL, ...changes }, shed, INPUTS).effects[0];
+  t.like(told, { kind: 'fail-request', failure: { code: 'shed', verdict: 'may-have-run' } });
+  const first = failRequest(CALL, shed, INPUTS).effects[0];
+  t.like(first, { kind: 'fail-request', failure: { code: 'shed', verdict: 'not-run' } });
+});
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -4,6 +4,7 @@
 import type { Step } from '../../core/step.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
 import type { AttemptOutcome } from '../../decisions/quarantine/types.js';
+import { resolveRefusal } from '../../decisions/retries/attempts.js';
 import type { EntryEffect } from '../events.js';
 
 /** Next state of one request; null when it is over. */
@@ -13,19 +14,21 @@
  * Ends a request with a failure.
  *
  * @param state - request that fails
- * @param failure - what the caller is told
+ * @param reason - why it ends; earlier attempts can make its verdict worse
  * @param inputs - own placements
  * @param effects - effects that come before
  * @returns the step that ends the request
  */
 export const failRequest = (
   state: RequestState,
-  failure: Failure,
+  reason: Failure,
   inputs: RequestsInputs,
   effects: readonly EntryEffect[] = [],
 ): RequestStep => {
   const { requestId } = state.request;
-  releaseAttempt(state, toAttemptOutcome(failure), inputs);
+  // The intent of a keyed call has settled its verdict with the endpoint daemon.
+  const failure = state.kind === 'keyed' ? reason : resolveRefusal(state.verdict, reason);
+  releaseAttempt(state, toAttemptOutcome(reason), inputs);
   inputs.suspicions.apply({ kind: 'abandoned', requestId });
   return toStep<RequestState | null, EntryEffect>(
     null,
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -5,13 +5,17 @@
 import type { Millis } from '../../core/clock.js';
 import type { Failure } from '../../core/verdict.js';
 import { decideRetry, recordSuccess } from '../../decisions/retries/retry.js';
+import { mergeVerdicts } from '../../decisions/streams/verdicts.js';
 import type { EntryEffect } from '../events.js';
 
 /** Whether a request whose attempt failed is tried again. */
 export type NextAttempt =
   | {
       readonly kind: 'again';
-      readonly changes: Pick<RequestState, 'excluded' | 'bounces' | 'waiting' | 'lastFailureText'>;
+      readonly changes: Pick<
+        RequestState,
+        'excluded' | 'bounces' | 'waiting' | 'lastFailureText' | 'verdict'
+      >;
       readonly effects: readonly EntryEffect[];
     }
   | { readonly kind: 'give-up'; readonly failure: Failure };
@@ -27,7 +31,13 @@
     state.place === null ? state.excluded : new Set([...state.excluded, state.place.endpoint]);
   return {
     kind: 'again',
-    changes: { excluded, bounces, waiting: 'for-retry', lastFailureText: failure.message },
+    changes: {
+      excluded,
+      bounces,
+      waiting: 'for-retry',
+      lastFailureText: failure.message,
+      verdict: mergeVerdicts(state.verdict, failure.verdict),
+    },
     effects: [
       { kind: 'schedule', delayMs, event: { to: 'requests', kind: 'retry-due', requestId } },
       {
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -7,6 +7,7 @@
   RequestId,
   VersionName,
 } from '../../core/ids.js';
+import type { Verdict } from '../../core/verdict.js';
 import type { PublishedClass } from '../../decisions/configuration/types.js';
 import type { IntentState } from '../../decisions/idempotency/types.js';
 import type { DeliveryState } from '../../decisions/streams/types.js';
@@ -41,6 +42,8 @@
   readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
   /** Why the last attempt failed, for the caller when the deadline passes. */
   readonly lastFailureText: string;
+  /** What the ended attempts prove together; a keyed call's intent knows more. */
+  readonly verdict: Verdict;
 }
 
 export interface GenerationState extends RequestBase {
