--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -47,6 +47,7 @@
   place: null,
   waiting: 'no',
   lastFailureText: '',
+  verdict: 'not-run',
 });
 
 /**
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -54,6 +54,7 @@
   place: null,
   waiting: 'no',
   lastFailureText: '',
+  verdict: 'not-run',
   delivery: initDelivery(
     policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
   ),
@@ -198,6 +199,7 @@
     },
     waiting: 'no',
     lastFailureText: '',
+    verdict: 'may-have-run',
     delivery: resumed.state,
     firstChunkAt: null,
     lastChunkAt: null,
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -67,6 +67,7 @@
     lastFailureText: '',
     stream: null,
     caller: 'waiting',
+    verdict: 'not-run',
     intent: createIntentState({
       requestId: request.requestId,
       entry: inputs.process,
