--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -4,8 +4,6 @@
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
 import { LINK_OPEN_TIMEOUT_MS } from './constants.js';
-import { openGenerateLink } from './generateLink.js';
-import type { GenerateLink } from './generateLink.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
@@ -25,7 +23,6 @@
   CallAnswer,
   CallResponse,
   GenerateEvent,
-  GenerateRequest,
 } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
 import type { HeaderField, ServiceAnswer } from '../types.js';
 
@@ -160,19 +157,6 @@
   body: answer.body,
 });
 
-const toFenceAnswer = (result: string, answer: CallAnswer | undefined): FenceAnswer => {
-  switch (result) {
-    case 'fenced':
-    case 'started':
-    case 'unknown-incarnation':
-      return { kind: result };
-    case 'finished':
-      return { kind: 'finished', answer: answer === undefined ? null : decodeAnswer(answer) };
-    default:
-      return { kind: 'unreachable', reason: `unknown fence result ${result}` };
-  }
-};
-
 const getLinkId = (generationId: GenerationId, link: number): string =>
   `${generationId}/${link.toString()}`;
 
@@ -188,11 +172,11 @@
   post: (completion: EndpointCompletion) => void,
 ): EndpointClient => {
   const connections = new Map<string, Connection>();
-  const links = new Map<string, GenerateLink>();
+  const links = new Map<string, AbortController>();
 
-  const connect = (url: string): Connection => {
+  const connect = (url: string): Client<typeof EndpointService> => {
     const known = connections.get(url);
-    if (known !== undefined) return known;
+    if (known !== undefined) return known.client;
     const manager = createPeerSession(url);
     const transport = createConnectTransport({
       baseUrl: url,
@@ -201,9 +185,8 @@
       readMaxBytes: MAX_MESSAGE_BYTES,
     });
     const client = createClient(EndpointService, transport);
-    const connection = { client, manager };
-    connections.set(url, connection);
-    return connection;
+    connections.set(url, { client, manager });
+    return client;
   };
 
   const postEvent = (key: LinkKey, { event }: GenerateEvent): 'open' | 'ended' => {
@@ -231,62 +214,49 @@
     }
   };
 
-  const buildRequest = (open: OpenGeneration): GenerateRequest =>
-    create(GenerateRequestSchema, {
-      format: MESSAGE_FORMAT,
-      generationId: open.generationId,
-      requestId: open.requestId,
-      customer: open.customer,
-      className: open.className,
-      route: open.route,
-      incarnation: open.incarnation,
-      resumeFrom: open.fromNumber,
-      mode: open.mode,
-      importance: open.importance,
-      deadlineMs: open.deadlineMs,
-      fingerprint: open.fingerprint,
-      promptTokens: open.promptTokens,
-      body: open.body,
-      entry,
-      stream: open.requestId,
-      link: open.link,
-    });
-
-  const openLink = (open: OpenGeneration): void => {
+  const readLink = async (open: OpenGeneration): Promise<void> => {
     const { requestId, generationId, link } = open;
     const key: LinkKey = { requestId, generationId, link };
+    const controller = new AbortController();
     const linkId = getLinkId(generationId, link);
-
-    const release = (): void => {
-      clearTimeout(opening);
-      links.delete(linkId);
-    };
-    const loseLink = (sent: 'sent' | 'unsent', reason: string): void => {
-      release();
-      post({ kind: 'link-lost', ...key, sent, reason });
-    };
-
-    const opened = openGenerateLink(connect(open.url).manager, buildRequest(open), {
-      onEvent: (event) => {
-        clearTimeout(opening);
-        if (postEvent(key, event) === 'ended') release();
-      },
-      onEnd: (end) => {
-        if (!links.has(linkId)) return;
-        if (end.kind === 'ended') loseLink('sent', 'the stream ended without an end');
-        else loseLink(checkSent(end.error), getReason(end.error));
-      },
-    });
+    links.set(linkId, controller);
     const opening = setTimeout(() => {
-      opened.close();
-      loseLink('sent', 'the endpoint daemon did not answer');
+      controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
-    links.set(linkId, {
-      close: () => {
-        release();
-        opened.close();
-      },
-    });
+    try {
+      const message = create(GenerateRequestSchema, {
+        format: MESSAGE_FORMAT,
+        generationId,
+        requestId,
+        customer: open.customer,
+        className: open.className,
+        route: open.route,
+        incarnation: open.incarnation,
+        resumeFrom: open.fromNumber,
+        mode: open.mode,
+        importance: open.importance,
+        deadlineMs: open.deadlineMs,
+        fingerprint: open.fingerprint,
+        promptTokens: open.promptTokens,
+        body: open.body,
+        entry,
+        stream: requestId,
+        link,
+      });
+      const events = connect(open.url).generate(message, { signal: controller.signal });
+      for await (const event of events) {
+        clearTimeout(opening);
+        if (postEvent(key, event) === 'ended') return;
+      }
+      post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
+    } catch (error) {
+      if (!links.has(linkId)) return;
+      const reason = getReason(error);
+      post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
+    } finally {
+      clearTimeout(opening);
+      links.delete(linkId);
+    }
   };
 
   const toCallCompletion = (call: OpenCall, response: CallResponse): EndpointCompletion => {
@@ -345,18 +315,31 @@
         entry,
       });
       const timeoutMs = Math.max(1, Math.ceil(call.deadlineMs));
-      post(toCallCompletion(call, await connect(call.url).client.call(message, { timeoutMs })));
+      post(toCallCompletion(call, await connect(call.url).call(message, { timeoutMs })));
     } catch (error) {
       post({ kind: 'call-failed', requestId, attempt, failure: toTransportFailure(error) });
     }
   };
 
+  const toFenceAnswer = (result: string, answer: CallAnswer | undefined): FenceAnswer => {
+    switch (result) {
+      case 'fenced':
+      case 'started':
+      case 'unknown-incarnation':
+        return { kind: result };
+      case 'finished':
+        return { kind: 'finished', answer: answer === undefined ? null : decodeAnswer(answer) };
+      default:
+        return { kind: 'unreachable', reason: `unknown fence result ${result}` };
+    }
+  };
+
   const askFence = async (question: FenceQuestion): Promise<void> => {
     const { requestId, nonce, incarnation } = question;
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
-      const response = await connect(question.url).client.fence(message, { timeoutMs });
+      const response = await connect(question.url).fence(message, { timeoutMs });
       const result = toFenceAnswer(response.result, response.answer);
       post({ kind: 'fence-answered', requestId, nonce, result });
     } catch (error) {
@@ -377,21 +360,24 @@
     });
     // A lost cancel is covered by the orphan timeout of the endpoint daemon.
     await connect(url)
-      .client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS })
+      .cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS })
       .catch(() => undefined);
   };
 
   return {
-    openGeneration: openLink,
+    openGeneration: (open) => void readLink(open),
     closeLink: (generationId, link) => {
-      links.get(getLinkId(generationId, link))?.close();
+      const linkId = getLinkId(generationId, link);
+      const controller = links.get(linkId);
+      links.delete(linkId);
+      controller?.abort();
     },
     cancelGeneration: (url, generationId, incarnation) =>
       void sendCancel(url, generationId, incarnation),
     callEndpoint: (call) => void callOnce(call),
     fenceNonce: (question) => void askFence(question),
     close: () => {
-      for (const link of [...links.values()]) link.close();
+      for (const controller of links.values()) controller.abort();
       links.clear();
       for (const { manager } of connections.values()) manager.abort();
       connections.clear();
