--- a/packages/entry/platform/badRecords.test.ts
+++ b/packages/entry/platform/badRecords.test.ts
@@ -154,7 +154,7 @@
 test('the entry daemon folds every good intent around bad ones', (t) => {
   const logic = createIntentsLogic({
     now: () => 0,
-    keys: { keyWindowMs: 1_000, maxUntimedKeys: 10 },
+    keys: { keyWindowMs: 1_000, maxUntimedKeys: 10, maxTimedKeys: 10 },
   });
   const bad = BAD_INTENTS.map(([body]) => body);
   const bodies = [buildIntent('a'), ...bad, buildIntent('b'), ...bad, buildIntent('d')];
