End restarted moves, and fall back to the old version when the new one has no endpoint

Cause: the terminal record of a move named no base, which the fold takes only for the first move of a name; a move started again could not be ended by a daemon. Change: the terminal record names the offset of its move; the choice of a version names the old one as the alternative, never the reverse. The bounds of kept keys go from 100,000 to 75,000 each: 200,000 chains of 683 bytes passed 128 MB.

--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -36,8 +36,9 @@
 
 export const DEFAULT_KEY_SETTINGS: KeySettings = {
   keyWindowMs: 24 * 3_600_000,
-  maxUntimedKeys: 100_000,
-  maxTimedKeys: 100_000,
+  // 150,000 chains of 683 bytes are 102 MB, which leaves room below 128 MB for other control state.
+  maxUntimedKeys: 75_000,
+  maxTimedKeys: 75_000,
 };
 
 export const DEFAULT_INTENT_LIMITS: IntentLimits = {
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -3,7 +3,7 @@
 import type { NoticeInputs } from './moveNotices.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
-import type { ModelName, RequestId, VersionName } from '../../core/ids.js';
+import type { ModelName, RequestId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
@@ -19,7 +19,7 @@
   MoveState,
 } from '../../decisions/moves/types.js';
 import type { EntryEffect, MovesEvent } from '../events.js';
-import type { ReceivedHeartbeat } from '../types.js';
+import type { ReceivedHeartbeat, VersionChoice } from '../types.js';
 
 /** One move with its place in the log. */
 export interface WatchedMove {
@@ -81,7 +81,7 @@
       kind: 'move-ended',
       format: 1,
       entity: effect.name,
-      basedOn: null,
+      basedOn: move.view.offset,
       body: { outcome: effect.outcome, reason: move.reason },
       author: inputs.process,
       nonce: inputs.createId(),
@@ -264,7 +264,7 @@
   model: ModelName,
   requestId: RequestId,
   hash: (text: string) => number,
-): VersionName | null => {
+): VersionChoice | null => {
   let newest: WatchedMove | undefined;
   for (const move of state.moves.values()) {
     if (move.view.model !== model) continue;
@@ -272,7 +272,9 @@
   }
   if (newest === undefined) return null;
   const side = chooseVersion(getShare(newest.state, CHAT_ROUTE), hash(requestId));
-  return side === 'new' ? newest.view.to : newest.view.from;
+  const { from, to } = newest.view;
+  // The reverse would give a version on trial more than its share.
+  return side === 'new' ? { version: to, otherwise: from } : { version: from, otherwise: null };
 };
 
 /**
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -1,8 +1,8 @@
 import type { Suspicions } from './suspicions.js';
 import type { ClassPolicy } from './types.js';
-import type { ReceivedHeartbeat } from '../types.js';
+import type { ReceivedHeartbeat, VersionChoice } from '../types.js';
 import type { Millis } from '../../core/clock.js';
-import type { ClassName, CustomerId, ModelName, RequestId, VersionName } from '../../core/ids.js';
+import type { ClassName, CustomerId, ModelName, RequestId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { ChainState, KeptKeys, TableStanding } from '../../decisions/idempotency/types.js';
 import type { OwnTable } from '../../decisions/placement/own.js';
@@ -36,7 +36,7 @@
   readonly findReport: (endpoint: string) => ReceivedHeartbeat | undefined;
   readonly getCustomerWeight: (customer: CustomerId) => number;
   /** Version that a move chooses for a request; null when any will do. */
-  readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionName | null;
+  readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionChoice | null;
   readonly budgets: BudgetTable;
   readonly suspicions: Suspicions;
   readonly findChain: (customer: CustomerId, key: string) => ChainState | undefined;
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -30,16 +30,21 @@
 export const getPromptTokens = ({ request }: RequestState): number =>
   request.kind === 'generation' ? request.promptTokens : 0;
 
-const toTarget = (state: RequestState, inputs: RequestsInputs): PlacementTarget => {
-  const { request } = state;
+/** Lists what may serve a request, in order of preference. */
+const listTargets = (
+  { request }: RequestState,
+  inputs: RequestsInputs,
+): readonly PlacementTarget[] => {
   switch (request.kind) {
     case 'generation': {
-      const version = inputs.chooseVersion(request.model, request.requestId);
+      const choice = inputs.chooseVersion(request.model, request.requestId);
       const target = { kind: 'model', model: request.model } as const;
-      return version === null ? target : { ...target, version };
+      if (choice === null) return [target];
+      const versions = [choice.version, ...(choice.otherwise === null ? [] : [choice.otherwise])];
+      return versions.map((version) => ({ ...target, version }));
     }
     case 'service':
-      return { kind: 'service', service: request.service };
+      return [{ kind: 'service', service: request.service }];
     case 'resume':
       throw new Error('a resumed stream is bound to its endpoint and is never placed');
     default:
@@ -70,11 +75,15 @@
   }
 };
 
-const toPlacementRequest = (state: RequestState, inputs: RequestsInputs): PlacementRequest => {
+const toPlacementRequest = (
+  state: RequestState,
+  target: PlacementTarget,
+  inputs: RequestsInputs,
+): PlacementRequest => {
   const { request, policy } = state;
   return {
     requestId: request.requestId,
-    target: toTarget(state, inputs),
+    target,
     customer: request.customer,
     targets: policy,
     promptTokens: getPromptTokens(state),
@@ -150,6 +159,29 @@
   return { kind: 'placed', place, effects: [logPlacement(state, decision)] };
 };
 
+/** Takes the next target only when no endpoint of the one before takes work at all. */
+const choosePlace = (
+  state: RequestState,
+  endpoints: readonly EndpointView[],
+  inputs: RequestsInputs,
+): PlacementDecision => {
+  const decide = (target: PlacementTarget): PlacementDecision =>
+    choosePlacement(
+      inputs.policy,
+      toPlacementRequest(state, target, inputs),
+      endpoints,
+      inputs.own,
+      inputs.survival,
+      inputs.random,
+    );
+  const [first, ...others] = listTargets(state, inputs);
+  if (first === undefined) throw new Error('a request without a target');
+  return others.reduce(
+    (decision, target) => (decision.kind === 'refuse' ? decide(target) : decision),
+    decide(first),
+  );
+};
+
 /**
  * Tries to place a request and tracks the placement.
  *
@@ -162,14 +194,7 @@
   if (rule.kind === 'refuse') return { kind: 'fail', failure: rule.failure };
   if (rule.kind === 'hold') return { kind: 'hold' };
   const endpoints = listAllowed(inputs.listEndpoints(), rule);
-  const decision = choosePlacement(
-    inputs.policy,
-    toPlacementRequest(state, inputs),
-    endpoints,
-    inputs.own,
-    inputs.survival,
-    inputs.random,
-  );
+  const decision = choosePlace(state, endpoints, inputs);
   switch (decision.kind) {
     case 'wait':
       return decision;
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -76,6 +76,13 @@
   readonly body: Uint8Array;
 }
 
+/** Version that a move chooses for a request. */
+export interface VersionChoice {
+  readonly version: VersionName;
+  /** Version to use when no endpoint of the chosen one takes work; null when the request waits. */
+  readonly otherwise: VersionName | null;
+}
+
 /** A heartbeat as it arrived from an endpoint daemon. */
 export interface ReceivedHeartbeat {
   readonly endpoint: EndpointId;
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -9,8 +9,8 @@
 export const DEFAULT_QUEUE_CAPACITY = 1_024;
 /** Time for which the key of a non-repeatable call is remembered: one day. */
 export const DEFAULT_KEY_WINDOW_MS: Millis = 86_400_000;
-export const DEFAULT_MAX_UNTIMED_KEYS = 100_000;
-export const DEFAULT_MAX_TIMED_KEYS = 100_000;
+export const DEFAULT_MAX_UNTIMED_KEYS = 75_000;
+export const DEFAULT_MAX_TIMED_KEYS = 75_000;
 export const DEFAULT_START_LIMIT = 2;
 export const DEFAULT_MAX_LIMIT = 256;
 /** Tokens of each running sequence that are evidence for one step of the ramp. */
