--- a/app/runDaemon.ts
+++ b/app/runDaemon.ts
@@ -34,5 +34,6 @@
   const daemon = await startDaemon(settings.value);
   await serveUntilSignal(`${kind} daemon`, daemon, flags);
   const reason = await daemon.ended;
-  if (reason.kind === 'fault') process.exitCode = EXIT_CODES.internal.code;
+  // A connection that a peer keeps open would otherwise keep the process alive.
+  process.exit(reason.kind === 'fault' ? EXIT_CODES.internal.code : undefined);
 };
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -14,7 +14,7 @@
   EndpointCompletion,
   OpenCall,
   OpenGeneration,
-} from '../entry/requests/endpointClient.js';
+} from '../entry/requests/endpointMessages.js';
 import { MAX_MESSAGE_BYTES } from '../wire/constants.js';
 import {
   CallRequestSchema,
--- a/packages/endpoint/main.ts
+++ b/packages/endpoint/main.ts
@@ -2,6 +2,14 @@
 import type { EndReason } from './wiring.js';
 import type { EndpointSettings } from '../settings/types.js';
 
+/** Time for connections to close once nothing runs any more. */
+const CLOSE_TIMEOUT_MS = 3_000;
+
+const waitFor = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
 /** A daemon that serves until it is stopped. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
@@ -34,10 +42,14 @@
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     daemon.stop();
     cradle.entries.close();
-    await cradle.engine.close();
-    await cradle.list.close();
-    await http.close();
-    await rpc.close();
+    const closed = Promise.all([
+      cradle.engine.close(),
+      cradle.list.close(),
+      http.close(),
+      rpc.close(),
+    ]);
+    // Nothing runs any more, so a peer that keeps a connection open must not delay the exit.
+    await Promise.race([closed, waitFor(CLOSE_TIMEOUT_MS)]);
     return reason;
   });
 
--- /dev/null
+++ b/packages/endpoint/streams/bufferEffects.ts
@@ -0,0 +1,99 @@
+import type { Generation, StreamsState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { GenerationId } from '../../core/ids.js';
+import type { BufferEffect, ReaderIdentity } from '../../decisions/streams/bufferTypes.js';
+import type { EndpointEffect, WorkOutcome } from '../types.js';
+
+/**
+ * Builds the key of a reader.
+ *
+ * @param identity - stream and link
+ * @returns text that differs between readers
+ */
+export const toReaderKey = ({ stream, link }: ReaderIdentity): string =>
+  `${stream}/${link.toString()}`;
+
+/**
+ * Tells the admission limit how a generation ended.
+ *
+ * @param generation - ended generation
+ * @param result - how it ended
+ * @returns the effect for the engine's child
+ */
+export const describeOutcome = (
+  generation: Generation,
+  result: WorkOutcome['result'],
+): EndpointEffect => {
+  const { call, startedAt, firstChunkAt, lastChunkAt, chunkCount } = generation;
+  const outcome: WorkOutcome = {
+    workId: call.generationId,
+    customer: call.customer,
+    route: call.route,
+    className: call.className,
+    result,
+    firstTokenMs: firstChunkAt === null ? null : firstChunkAt - startedAt,
+    tokenGapMsSum: firstChunkAt === null ? 0 : (lastChunkAt ?? firstChunkAt) - firstChunkAt,
+    tokenGaps: Math.max(0, chunkCount - 1),
+  };
+  return { kind: 'post', event: { to: 'engine', kind: 'work-ended', outcome } };
+};
+
+/**
+ * Translates an effect of the buffer; a reader whose call is gone gets nothing.
+ *
+ * @param state - streams
+ * @param generationId - generation of the buffer
+ * @param effect - effect of its decision
+ * @returns effects of the daemon
+ */
+export const toEndpointEffects = (
+  state: StreamsState,
+  generationId: GenerationId,
+  effect: BufferEffect,
+): readonly EndpointEffect[] => {
+  switch (effect.kind) {
+    case 'send-chunks': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      const { firstNumber, chunks } = effect;
+      return [{ kind: 'send-chunks', callId, firstNumber, choices: chunks }];
+    }
+    case 'send-finished': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      const { chunkCount, usage } = effect;
+      const digest = state.generations.get(generationId)?.record?.digest ?? '';
+      return [{ kind: 'send-finished', callId, chunkCount, usage, digest }];
+    }
+    case 'send-failed': {
+      const callId = state.calls.get(toReaderKey(effect));
+      if (callId === undefined) return [];
+      return [{ kind: 'send-failure', callId, failure: effect.failure }];
+    }
+    case 'pause-engine':
+      return [{ kind: 'set-engine-flow', generationId, flow: 'paused' }];
+    case 'continue-engine':
+      return [{ kind: 'set-engine-flow', generationId, flow: 'flowing' }];
+    case 'cancel-engine': {
+      const generation = state.generations.get(generationId);
+      const ended = generation === undefined ? [] : [describeOutcome(generation, 'cancelled')];
+      return [
+        { kind: 'cancel-generation', generationId },
+        ...ended,
+        {
+          kind: 'log',
+          name: 'generation-cancelled',
+          details: {
+            requestId: generation?.call.requestId ?? '',
+            data: { generationId },
+          },
+        },
+      ];
+    }
+    case 'release':
+      state.generations.delete(generationId);
+      return [];
+    default:
+      return assertNever(effect);
+  }
+};
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -1,5 +1,6 @@
 import { closeRecord, createRecord, addToRecord, startOnce } from './answerRecord.js';
 import type { AnswerRecordInputs } from './answerRecord.js';
+import { describeOutcome, toEndpointEffects, toReaderKey } from './bufferEffects.js';
 import { PROGRESS_REPORT_MS, REFUSED_KEPT_MS, SWEEP_MS } from './constants.js';
 import type { Generation, ReaderLink, StreamsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -12,19 +13,11 @@
 import type { Failure } from '../../core/verdict.js';
 import { decideBuffer, initBuffer } from '../../decisions/streams/buffer.js';
 import type {
-  BufferEffect,
   BufferEvent,
   BufferLimits,
   ReaderIdentity,
 } from '../../decisions/streams/bufferTypes.js';
-import type {
-  CallId,
-  EndpointEffect,
-  GenerateCall,
-  StreamsEvent,
-  WorkOutcome,
-  WorkResult,
-} from '../types.js';
+import type { CallId, EndpointEffect, GenerateCall, StreamsEvent, WorkResult } from '../types.js';
 
 export interface StreamsInputs extends AnswerRecordInputs {
   readonly limits: BufferLimits;
@@ -33,8 +26,6 @@
 
 type StreamsStep = Step<StreamsState, EndpointEffect>;
 
-const toReaderKey = ({ stream, link }: ReaderIdentity): string => `${stream}/${link.toString()}`;
-
 const refuseCall = (call: GenerateCall, failure: Failure): readonly EndpointEffect[] => [
   { kind: 'send-failure', callId: call.callId, failure },
   {
@@ -64,74 +55,6 @@
   return link;
 };
 
-const describeOutcome = (generation: Generation, result: WorkOutcome['result']): EndpointEffect => {
-  const { call, startedAt, firstChunkAt, lastChunkAt, chunkCount } = generation;
-  const outcome: WorkOutcome = {
-    workId: call.generationId,
-    customer: call.customer,
-    route: call.route,
-    className: call.className,
-    result,
-    firstTokenMs: firstChunkAt === null ? null : firstChunkAt - startedAt,
-    tokenGapMsSum: firstChunkAt === null ? 0 : (lastChunkAt ?? firstChunkAt) - firstChunkAt,
-    tokenGaps: Math.max(0, chunkCount - 1),
-  };
-  return { kind: 'post', event: { to: 'engine', kind: 'work-ended', outcome } };
-};
-
-/** Translates the buffer's effects; a reader whose call is gone gets nothing. */
-const toEndpointEffects = (
-  state: StreamsState,
-  generationId: GenerationId,
-  effect: BufferEffect,
-): readonly EndpointEffect[] => {
-  switch (effect.kind) {
-    case 'send-chunks': {
-      const callId = state.calls.get(toReaderKey(effect));
-      if (callId === undefined) return [];
-      const { firstNumber, chunks } = effect;
-      return [{ kind: 'send-chunks', callId, firstNumber, choices: chunks }];
-    }
-    case 'send-finished': {
-      const callId = state.calls.get(toReaderKey(effect));
-      if (callId === undefined) return [];
-      const { chunkCount, usage } = effect;
-      const digest = state.generations.get(generationId)?.record?.digest ?? '';
-      return [{ kind: 'send-finished', callId, chunkCount, usage, digest }];
-    }
-    case 'send-failed': {
-      const callId = state.calls.get(toReaderKey(effect));
-      if (callId === undefined) return [];
-      return [{ kind: 'send-failure', callId, failure: effect.failure }];
-    }
-    case 'pause-engine':
-      return [{ kind: 'set-engine-flow', generationId, flow: 'paused' }];
-    case 'continue-engine':
-      return [{ kind: 'set-engine-flow', generationId, flow: 'flowing' }];
-    case 'cancel-engine': {
-      const generation = state.generations.get(generationId);
-      const ended = generation === undefined ? [] : [describeOutcome(generation, 'cancelled')];
-      return [
-        { kind: 'cancel-generation', generationId },
-        ...ended,
-        {
-          kind: 'log',
-          name: 'generation-cancelled',
-          details: {
-            requestId: generation?.call.requestId ?? '',
-            data: { generationId },
-          },
-        },
-      ];
-    }
-    case 'release':
-      state.generations.delete(generationId);
-      return [];
-    default:
-      return assertNever(effect);
-  }
-};
-
 const isRunning = (generation: Generation): boolean => generation.buffer.phase === 'generating';
 
 const applyBuffer = (
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -3,7 +3,7 @@
   EndpointCompletion,
   OpenCall,
   OpenGeneration,
-} from './requests/endpointClient.js';
+} from './requests/endpointMessages.js';
 import type {
   CallerRequest,
   HeartbeatReply,
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -3,7 +3,7 @@
 import type { TicketIssuer } from './frontend/tickets.js';
 import type { HeartbeatServer } from './membership/heartbeatServer.js';
 import type { PlatformAdapter } from './platform/platformAdapter.js';
-import type { EndpointClient } from './requests/endpointClient.js';
+import type { EndpointClient } from './requests/endpointMessages.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
 import type { Loop } from '../core/loop/types.js';
--- /dev/null
+++ b/packages/entry/requests/endpointMessages.ts
@@ -0,0 +1,115 @@
+import type { Millis } from '../../core/clock.js';
+import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
+import type { Failure } from '../../core/verdict.js';
+import type { HeaderField, ServiceAnswer } from '../types.js';
+
+/** Identity of one link of a request's stream to an endpoint daemon. */
+export interface LinkKey {
+  readonly requestId: RequestId;
+  readonly generationId: GenerationId;
+  readonly link: number;
+}
+
+export interface OpenGeneration extends LinkKey {
+  readonly url: string;
+  readonly mode: 'start' | 'resume';
+  readonly fromNumber: number;
+  readonly incarnation: Incarnation;
+  readonly customer: string;
+  readonly className: string;
+  readonly route: string;
+  readonly importance: string;
+  readonly deadlineMs: Millis;
+  readonly fingerprint: string;
+  readonly promptTokens: number;
+  readonly nonce: string | null;
+  readonly body: Uint8Array;
+}
+
+export interface OpenCall {
+  readonly url: string;
+  readonly requestId: RequestId;
+  readonly attempt: number;
+  readonly customer: string;
+  readonly className: string;
+  readonly importance: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  readonly incarnation: Incarnation;
+  readonly nonce: string | null;
+  readonly key: string | null;
+  readonly deadlineMs: Millis;
+  readonly fingerprint: string;
+}
+
+export interface FenceQuestion {
+  readonly url: string;
+  readonly requestId: RequestId;
+  readonly nonce: string;
+  readonly incarnation: Incarnation;
+}
+
+/** Completions of the calls to endpoint daemons. */
+export type EndpointCompletion =
+  | ({ readonly kind: 'link-opened' } & LinkKey)
+  | ({
+      readonly kind: 'chunks-received';
+      readonly firstNumber: number;
+      readonly choices: readonly string[];
+    } & LinkKey)
+  | ({
+      readonly kind: 'generation-finished';
+      readonly chunkCount: number;
+      readonly usage: string;
+      /** Digest of the answer of a generation that must run at most once, else empty. */
+      readonly digest: string;
+    } & LinkKey)
+  | ({ readonly kind: 'generation-failed'; readonly failure: Failure } & LinkKey)
+  /** The link broke; `unsent` proves that the request never left this process. */
+  | ({
+      readonly kind: 'link-lost';
+      readonly sent: 'sent' | 'unsent';
+      readonly reason: string;
+    } & LinkKey)
+  | {
+      readonly kind: 'call-answered';
+      readonly requestId: RequestId;
+      readonly attempt: number;
+      readonly answer: ServiceAnswer;
+    }
+  | {
+      readonly kind: 'call-failed';
+      readonly requestId: RequestId;
+      readonly attempt: number;
+      readonly failure: Failure;
+    }
+  | {
+      readonly kind: 'fence-answered';
+      readonly requestId: RequestId;
+      readonly nonce: string;
+      readonly result: FenceAnswer;
+    };
+
+export type FenceAnswer =
+  | { readonly kind: 'fenced' }
+  | { readonly kind: 'started' }
+  | { readonly kind: 'finished'; readonly answer: ServiceAnswer | null }
+  | { readonly kind: 'unknown-incarnation' }
+  | { readonly kind: 'unreachable'; readonly reason: string };
+
+export interface EndpointClient {
+  readonly openGeneration: (open: OpenGeneration) => void;
+  /** Stops reading a link; the generation goes on at the endpoint daemon. */
+  readonly closeLink: (generationId: GenerationId, link: number) => void;
+  readonly cancelGeneration: (
+    url: string,
+    generationId: GenerationId,
+    incarnation: Incarnation,
+  ) => void;
+  readonly callEndpoint: (call: OpenCall) => void;
+  readonly fenceNonce: (question: FenceQuestion) => void;
+  readonly close: () => void;
+}
--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { FenceAnswer } from './endpointClient.js';
+import type { FenceAnswer } from './endpointMessages.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { FenceResult, StoredAnswer } from '../../decisions/idempotency/types.js';
 import type { ServiceAnswer } from '../types.js';
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -9,6 +9,7 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestsInputs } from './inputs.js';
+import { openResume, openStart } from './openLink.js';
 import { measureChunks, toDeliveryEvent } from './links.js';
 import type { LinkCompletion } from './links.js';
 import { selectPlace } from './placing.js';
@@ -62,38 +63,6 @@
   lastChunkAt: null,
 });
 
-const openStart = (
-  state: GenerationState,
-  place: Placed,
-  generationId: GenerationId,
-  nonce: string | null,
-  inputs: RequestsInputs,
-): EntryEffect => {
-  const { request, policy } = state;
-  if (request.kind === 'resume') throw new Error('a resumed stream starts no generation');
-  return {
-    kind: 'open-generation',
-    open: {
-      requestId: request.requestId,
-      generationId,
-      link: 0,
-      url: place.url,
-      mode: 'start',
-      fromNumber: 0,
-      incarnation: place.incarnation,
-      customer: request.customer,
-      className: policy.className,
-      route: 'chat',
-      importance: policy.importance,
-      deadlineMs: state.deadlineAt - inputs.now(),
-      fingerprint: request.fingerprint,
-      promptTokens: request.promptTokens,
-      nonce,
-      body: request.body,
-    },
-  };
-};
-
 /**
  * Starts a generation at a chosen endpoint.
  *
@@ -211,49 +180,6 @@
   return applyEffects(state, resumed.effects, inputs);
 };
 
-const openResume = (
-  state: GenerationState,
-  effect: Extract<DeliveryEffect, { readonly kind: 'resume' }>,
-  inputs: RequestsInputs,
-): readonly EntryEffect[] => {
-  const { request, policy, place } = state;
-  const { source, fromNumber, link } = effect;
-  const { generationId } = source;
-  const opened: EntryEffect = {
-    kind: 'open-generation',
-    open: {
-      requestId: request.requestId,
-      generationId,
-      link,
-      url: place?.url ?? '',
-      mode: 'resume',
-      fromNumber,
-      incarnation: source.incarnation,
-      customer: request.customer,
-      className: policy.className,
-      route: 'chat',
-      importance: policy.importance,
-      deadlineMs: state.deadlineAt - inputs.now(),
-      fingerprint: request.fingerprint,
-      promptTokens: 0,
-      nonce: null,
-      body: new Uint8Array(),
-    },
-  };
-  const logged: EntryEffect = {
-    kind: 'log',
-    name: 'stream-resumed',
-    details: {
-      requestId: request.requestId,
-      endpoint: source.endpoint,
-      sent: `${generationId}/${link.toString()}`,
-      data: { fromNumber, link },
-    },
-  };
-  const closed: EntryEffect = { kind: 'close-link', generationId, link: link - 1 };
-  return link === 0 ? [logged, opened] : [closed, logged, opened];
-};
-
 const closeFinished = (
   state: GenerationState,
   effect: Extract<DeliveryEffect, { readonly kind: 'finish' }>,
--- a/packages/entry/requests/links.ts
+++ b/packages/entry/requests/links.ts
@@ -1,4 +1,4 @@
-import type { EndpointCompletion } from './endpointClient.js';
+import type { EndpointCompletion } from './endpointMessages.js';
 import type { RequestsInputs } from './inputs.js';
 import type { GenerationState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
--- /dev/null
+++ b/packages/entry/requests/openLink.ts
@@ -0,0 +1,98 @@
+import type { RequestsInputs } from './inputs.js';
+import type { GenerationState, Placed } from './types.js';
+import type { GenerationId } from '../../core/ids.js';
+import type { DeliveryEffect } from '../../decisions/streams/types.js';
+import type { EntryEffect } from '../events.js';
+
+/**
+ * Builds the effect that starts a generation at its endpoint.
+ *
+ * @param state - generation
+ * @param place - chosen endpoint
+ * @param generationId - fresh id
+ * @param nonce - nonce of a generation that runs at most once, else null
+ * @param inputs - clock
+ * @returns the effect that opens the first link
+ */
+export const openStart = (
+  state: GenerationState,
+  place: Placed,
+  generationId: GenerationId,
+  nonce: string | null,
+  inputs: RequestsInputs,
+): EntryEffect => {
+  const { request, policy } = state;
+  if (request.kind === 'resume') throw new Error('a resumed stream starts no generation');
+  return {
+    kind: 'open-generation',
+    open: {
+      requestId: request.requestId,
+      generationId,
+      link: 0,
+      url: place.url,
+      mode: 'start',
+      fromNumber: 0,
+      incarnation: place.incarnation,
+      customer: request.customer,
+      className: policy.className,
+      route: 'chat',
+      importance: policy.importance,
+      deadlineMs: state.deadlineAt - inputs.now(),
+      fingerprint: request.fingerprint,
+      promptTokens: request.promptTokens,
+      nonce,
+      body: request.body,
+    },
+  };
+};
+
+/**
+ * Builds the effects that go on with a generation on a new link.
+ *
+ * @param state - generation
+ * @param effect - what the stream wants to resume
+ * @param inputs - clock
+ * @returns effects that close the link before, log, and open the new one
+ */
+export const openResume = (
+  state: GenerationState,
+  effect: Extract<DeliveryEffect, { readonly kind: 'resume' }>,
+  inputs: RequestsInputs,
+): readonly EntryEffect[] => {
+  const { request, policy, place } = state;
+  const { source, fromNumber, link } = effect;
+  const { generationId } = source;
+  const opened: EntryEffect = {
+    kind: 'open-generation',
+    open: {
+      requestId: request.requestId,
+      generationId,
+      link,
+      url: place?.url ?? '',
+      mode: 'resume',
+      fromNumber,
+      incarnation: source.incarnation,
+      customer: request.customer,
+      className: policy.className,
+      route: 'chat',
+      importance: policy.importance,
+      deadlineMs: state.deadlineAt - inputs.now(),
+      fingerprint: request.fingerprint,
+      promptTokens: 0,
+      nonce: null,
+      body: new Uint8Array(),
+    },
+  };
+  const logged: EntryEffect = {
+    kind: 'log',
+    name: 'stream-resumed',
+    details: {
+      requestId: request.requestId,
+      endpoint: source.endpoint,
+      sent: `${generationId}/${link.toString()}`,
+      data: { fromNumber, link },
+    },
+  };
+  const closed: EntryEffect = { kind: 'close-link', generationId, link: link - 1 };
+  return link === 0 ? [logged, opened] : [closed, logged, opened];
+};
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -1,7 +1,7 @@
 import { applyCallCompletion, createCall, placeCall } from './call.js';
 import { findClass } from './classes.js';
 import { TICK_MS } from './constants.js';
-import type { EndpointCompletion } from './endpointClient.js';
+import type { EndpointCompletion } from './endpointMessages.js';
 import {
   applyCompletion,
   applyDelivery,
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -28,7 +28,7 @@
 import { createPlatformAdapter } from './platform/platformAdapter.js';
 import type { PlatformAdapter } from './platform/platformAdapter.js';
 import { createEndpointClient } from './requests/endpointClient.js';
-import type { EndpointClient } from './requests/endpointClient.js';
+import type { EndpointClient } from './requests/endpointMessages.js';
 import type { RequestsInputs } from './requests/inputs.js';
 import { createSuspicions } from './requests/suspicions.js';
 import { createRequestsLogic } from './requests/requests.js';
