Share the start of a request's state and the endpoints of the placement benches

Change: createRequestBase and a shared buildEndpoint; behaviour is the same. The placement benches were not run again. Left alone: performEffect of the two daemons, which switch over different effects, and the event catalogue, which is a table.

--- /dev/null
+++ b/packages/bench/placement/buildEndpoint.ts
@@ -0,0 +1,46 @@
+import type { RandomSource } from '../../core/random.js';
+import type { EndpointView } from '../../decisions/placement/types.js';
+
+const PREFIXES_PER_ENDPOINT = 32;
+
+/** What the endpoints of a bench have in common. */
+export interface EndpointWorld {
+  readonly dataCentres: number;
+  readonly tokensPerSecond: number;
+}
+
+/**
+ * Builds a busy engine endpoint with random load and cached prefixes.
+ *
+ * @param index - number of the endpoint
+ * @param random - source of its load
+ * @param world - what all endpoints have in common
+ * @returns the endpoint as placement sees it
+ */
+export const buildEndpoint = (
+  index: number,
+  random: RandomSource,
+  world: EndpointWorld,
+): EndpointView => ({
+  endpoint: `endpoint-${index.toString()}`,
+  incarnation: index.toString(),
+  dataCentre: `dc-${(index % world.dataCentres).toString()}`,
+  model: 'draft',
+  version: 'v1',
+  phase: 'serving',
+  limit: 300,
+  running: 20 + Math.floor(random.next() * 20),
+  waiting: 0,
+  memoryUsedTokens: 50_000 + random.next() * 40_000,
+  memoryTotalTokens: 100_000,
+  tokensPerSecond: world.tokensPerSecond,
+  loadAgeMs: random.next() * 500,
+  prefixes: new Set(
+    Array.from({ length: PREFIXES_PER_ENDPOINT }, () =>
+      Math.floor(random.next() * 1_000).toString(),
+    ),
+  ),
+  prefixAgeMs: random.next() * 10_000,
+  prefixGaps: 0,
+  preemptions: 0,
+});
--- a/packages/bench/placement/placementBench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -4,6 +4,7 @@
 import { parseArgs } from 'node:util';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
+import { buildEndpoint } from './buildEndpoint.js';
 import { MAX_PLACEMENT_MICROS } from '../constants.js';
 import { readIdentity } from '../report/machine.js';
 import { printProgress, printResult } from '../report/print.js';
@@ -24,36 +25,12 @@
 
 const SIZES: readonly number[] = [8, 64, 512];
 const OWN_PLACEMENTS = 2_000;
+const WORLD = { dataCentres: 3, tokensPerSecond: 1_000 };
 const WARM_UP_DECISIONS = 5_000;
 const MEASURED_DECISIONS = 20_000;
-const PREFIXES_PER_ENDPOINT = 32;
 
 const survival = createSurvivalTable();
 
-const buildEndpoint = (index: number, random: RandomSource): EndpointView => ({
-  endpoint: `endpoint-${index.toString()}`,
-  incarnation: index.toString(),
-  dataCentre: `dc-${(index % 3).toString()}`,
-  model: 'draft',
-  version: 'v1',
-  phase: 'serving',
-  limit: 300,
-  running: 20 + Math.floor(random.next() * 20),
-  waiting: 0,
-  memoryUsedTokens: 50_000 + random.next() * 40_000,
-  memoryTotalTokens: 100_000,
-  tokensPerSecond: 1_000,
-  loadAgeMs: random.next() * 500,
-  prefixes: new Set(
-    Array.from({ length: PREFIXES_PER_ENDPOINT }, () =>
-      Math.floor(random.next() * 1_000).toString(),
-    ),
-  ),
-  prefixAgeMs: random.next() * 10_000,
-  prefixGaps: 0,
-  preemptions: 0,
-});
-
 const buildRequest = (index: number, random: RandomSource): PlacementRequest => ({
   requestId: index.toString(),
   target: { kind: 'model', model: 'draft' },
@@ -143,7 +120,7 @@
 
 const measureSize = (size: number): readonly PlacementRow[] => {
   const random = createRandomSource(3);
-  const endpoints = Array.from({ length: size }, (_, index) => buildEndpoint(index, random));
+  const endpoints = Array.from({ length: size }, (_, index) => buildEndpoint(index, random, WORLD));
   const own = createOwnTable(survival);
   trackOwn(own, endpoints);
   const full = endpoints.map((view) => ({ ...view, limit: 1 }));
--- a/packages/capacity/measures/placement.ts
+++ b/packages/capacity/measures/placement.ts
@@ -1,37 +1,19 @@
 import { measureDuration } from '../sampling/duration.js';
 import type { Experiment } from '../types.js';
+import { buildEndpoint } from '../../bench/placement/buildEndpoint.js';
 import { createRandomSource } from '../../core/random.js';
 import type { RandomSource } from '../../core/random.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
 import { createOwnTable } from '../../decisions/placement/own.js';
-import type { EndpointView, PlacementRequest } from '../../decisions/placement/types.js';
+import type { PlacementRequest } from '../../decisions/placement/types.js';
 import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 
 const SEED = 11;
 const OBSERVED_LENGTHS = 3_000;
 const OWN_PLACEMENTS = 2_000;
 const DECISIONS_PER_ROUND = 100;
-
-const buildView = (index: number, random: RandomSource): EndpointView => ({
-  endpoint: `worker-${index.toString()}`,
-  incarnation: index.toString(),
-  dataCentre: `dc-${(index % 17).toString()}`,
-  model: 'draft',
-  version: 'v1',
-  phase: 'serving',
-  limit: 300,
-  running: 20 + Math.floor(random.next() * 20),
-  waiting: 0,
-  memoryUsedTokens: 50_000 + random.next() * 40_000,
-  memoryTotalTokens: 100_000,
-  tokensPerSecond: 833,
-  loadAgeMs: random.next() * 500,
-  prefixes: new Set(Array.from({ length: 32 }, () => Math.floor(random.next() * 1_000).toString())),
-  prefixAgeMs: random.next() * 10_000,
-  prefixGaps: 0,
-  preemptions: 0,
-});
+const WORLD = { dataCentres: 17, tokensPerSecond: 833 };
 
 const buildRequest = (index: number, random: RandomSource): PlacementRequest => ({
   requestId: index.toString(),
@@ -51,12 +33,14 @@
     const key = { className: 'memo', customer: (count % 100).toString(), version: 'v1' };
     survival.observeFinished(key, Math.floor(-800 * Math.log(1 - random.next())));
   }
-  const views = Array.from({ length: endpoints }, (_, index) => buildView(index, random));
+  const views = Array.from({ length: endpoints }, (_, index) =>
+    buildEndpoint(index, random, WORLD),
+  );
   const own = createOwnTable(survival);
   for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
     own.trackPlacement({
       requestId: `own-${index.toString()}`,
-      endpoint: `worker-${(index % endpoints).toString()}`,
+      endpoint: `endpoint-${(index % endpoints).toString()}`,
       className: 'memo',
       customer: (index % 100).toString(),
       version: 'v1',
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -11,6 +11,7 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import { selectPlace } from './placing.js';
+import { createRequestBase } from './requestBase.js';
 import { addSuccess, decideNextAttempt } from './retrying.js';
 import type { CallState, ClassPolicy, KeyedState, Placed } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -38,16 +39,8 @@
   inputs: RequestsInputs,
 ): CallState => ({
   kind: 'call',
+  ...createRequestBase(policy, inputs),
   request,
-  policy,
-  deadlineAt: inputs.now() + policy.deadlineMs,
-  excluded: new Set(),
-  attempts: 0,
-  bounces: 0,
-  place: null,
-  waiting: 'no',
-  lastFailureText: '',
-  verdict: 'not-run',
 });
 
 /**
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -13,6 +13,7 @@
 import { measureChunks, toDeliveryEvent } from './links.js';
 import type { LinkCompletion } from './links.js';
 import { selectPlace } from './placing.js';
+import { createRequestBase } from './requestBase.js';
 import { addSuccess, decideNextAttempt } from './retrying.js';
 import type { ClassPolicy, GenerationState, Placed } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -46,16 +47,8 @@
   inputs: RequestsInputs,
 ): GenerationState => ({
   kind: 'generation',
+  ...createRequestBase(policy, inputs),
   request,
-  policy,
-  deadlineAt: inputs.now() + policy.deadlineMs,
-  excluded: new Set(),
-  attempts: 0,
-  bounces: 0,
-  place: null,
-  waiting: 'no',
-  lastFailureText: '',
-  verdict: 'not-run',
   delivery: initDelivery(
     policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
   ),
@@ -151,12 +144,9 @@
   const resumed = resumeDelivery(source, lastNumber + 1);
   const state: GenerationState = {
     kind: 'generation',
+    ...createRequestBase(policy, inputs),
     request,
-    policy,
-    deadlineAt: inputs.now() + policy.deadlineMs,
-    excluded: new Set(),
     attempts: 1,
-    bounces: 0,
     place: {
       endpoint,
       incarnation,
@@ -166,8 +156,6 @@
       version: view?.version ?? '',
       placedAt: inputs.now(),
     },
-    waiting: 'no',
-    lastFailureText: '',
     verdict: 'may-have-run',
     delivery: resumed.state,
     firstChunkAt: null,
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -20,6 +20,7 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import { selectPlace } from './placing.js';
+import { createRequestBase } from './requestBase.js';
 import type { ClassPolicy, KeyedState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
@@ -52,22 +53,14 @@
   // A call without a key cannot be recognised when it is sent again, but its own attempts still
   // run at most once.
   const key = request.key ?? inputs.createId();
-  const deadlineAt = inputs.now() + policy.deadlineMs;
+  const base = createRequestBase(policy, inputs);
   return {
+    ...base,
     kind: 'keyed',
     request,
     key,
-    policy,
-    deadlineAt,
-    excluded: new Set(),
-    attempts: 0,
-    bounces: 0,
-    place: null,
-    waiting: 'no',
-    lastFailureText: '',
     stream: null,
     caller: 'waiting',
-    verdict: 'not-run',
     intent: createIntentState({
       requestId: request.requestId,
       entry: inputs.process,
@@ -75,7 +68,7 @@
       key,
       fingerprint: request.fingerprint,
       issuedAt: request.key === null ? inputs.now() : request.keyIssuedAt,
-      deadlineAt,
+      deadlineAt: base.deadlineAt,
     }),
   };
 };
--- /dev/null
+++ b/packages/entry/requests/requestBase.ts
@@ -0,0 +1,21 @@
+import type { RequestsInputs } from './inputs.js';
+import type { ClassPolicy, RequestBase } from './types.js';
+
+/**
+ * Creates the part that all requests share, before the first placement.
+ *
+ * @param policy - policy of the request's class
+ * @param inputs - clock
+ * @returns a request that no endpoint has seen
+ */
+export const createRequestBase = (policy: ClassPolicy, inputs: RequestsInputs): RequestBase => ({
+  policy,
+  deadlineAt: inputs.now() + policy.deadlineMs,
+  excluded: new Set(),
+  attempts: 0,
+  bounces: 0,
+  place: null,
+  waiting: 'no',
+  lastFailureText: '',
+  verdict: 'not-run',
+});
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -29,7 +29,8 @@
   readonly placedAt: Millis;
 }
 
-interface RequestBase {
+/** What every request in progress carries, whatever its kind. */
+export interface RequestBase {
   readonly policy: ClassPolicy;
   readonly deadlineAt: Millis;
   /** Endpoints that failed or refused this request since it last waited in the queue. */
