--- /dev/null
+++ b/packages/decisions/forwarding/constants.ts
@@ -0,0 +1,35 @@
+/** Windows kept of the retry budget, each half as long as the budget's own window. */
+export const BUDGET_SLICES = 20;
+
+/** Part of the shared retry budget that is used; the rest covers peers that were not counted. */
+export const BUDGET_USE = 0.8;
+
+/** Longest time without a byte that an answer or a connection attempt may take to open, in ms. */
+export const CONNECT_TIMEOUT_MS = 250;
+
+/** Largest event of a stream that is kept until its end has come. */
+export const MAX_EVENT_BYTES = 256 * 1024;
+
+/** Output tokens assumed of a generation whose caller estimates none. */
+export const DEFAULT_OUTPUT_TOKENS = 256;
+
+/** Crashes of different endpoints after which a request is refused. */
+export const CRASHES_TO_REFUSE = 3;
+
+/** How long the crashes of a request are remembered. */
+export const CRASH_MEMORY_MS = 120_000;
+
+/** Requests whose crashes are remembered; the oldest is dropped. */
+export const MAX_CRASH_RECORDS = 2_000;
+
+/** How long a failed connection keeps an endpoint out of use. */
+export const UNREACHABLE_MS = 1_000;
+
+/** Weight of the newest answer in the rates of an endpoint. */
+export const HEALTH_WEIGHT = 0.15;
+
+/** Failure rate above which an endpoint gets probing requests only. */
+export const SUSPECT_FAILURE_RATE = 0.5;
+
+/** Time after which a suspect endpoint may be tried again. */
+export const SUSPECT_PROBE_MS = 1_500;
--- /dev/null
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -0,0 +1,70 @@
+import { MAX_EVENT_BYTES } from './constants.js';
+
+/** One whole event of a stream, as the bytes that came. */
+export interface StreamEvent {
+  readonly bytes: Uint8Array;
+  /** Value of its `id` line, or null without one. */
+  readonly id: string | null;
+}
+
+/** Bytes of an event whose end has not come yet. */
+export interface SplitterState {
+  readonly rest: Uint8Array;
+}
+
+export interface SplitResult {
+  readonly state: SplitterState;
+  readonly events: readonly StreamEvent[];
+  /** `too-large`: an event exceeds the bound, so the stream is not one of events. */
+  readonly outcome: 'ok' | 'too-large';
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /^id: ?(.*)$/m;
+
+export const EMPTY_SPLITTER: SplitterState = { rest: new Uint8Array() };
+
+const joinBytes = (left: Uint8Array, right: Uint8Array): Uint8Array => {
+  if (left.length === 0) return right;
+  const joined = new Uint8Array(left.length + right.length);
+  joined.set(left);
+  joined.set(right, left.length);
+  return joined;
+};
+
+/** Returns the offset after the next blank line, or -1. */
+const findEventEnd = (bytes: Uint8Array, from: number): number => {
+  for (let at = from; at < bytes.length; at += 1) {
+    if (bytes[at] !== LINE_FEED) continue;
+    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
+    if (bytes[next] === LINE_FEED) return next + 1;
+  }
+  return -1;
+};
+
+const parseId = (bytes: Uint8Array): string | null =>
+  ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.[1]?.trimEnd() ?? null;
+
+/**
+ * Splits the bytes of an event stream at the blank lines, so that an event that an endpoint broke
+ * off is never passed on in part.
+ *
+ * @param state - bytes left from before
+ * @param chunk - new bytes
+ * @returns whole events and the bytes that wait for their end
+ */
+export const splitEvents = (state: SplitterState, chunk: Uint8Array): SplitResult => {
+  const bytes = joinBytes(state.rest, chunk);
+  const events: StreamEvent[] = [];
+  let start = 0;
+  let end = findEventEnd(bytes, Math.max(0, state.rest.length - 2));
+  while (end !== -1) {
+    const event = bytes.subarray(start, end);
+    events.push({ bytes: event, id: parseId(event) });
+    start = end;
+    end = findEventEnd(bytes, start);
+  }
+  const rest = bytes.subarray(start);
+  return { state: { rest }, events, outcome: rest.length > MAX_EVENT_BYTES ? 'too-large' : 'ok' };
+};
--- /dev/null
+++ b/packages/gateway/classify.ts
@@ -0,0 +1,44 @@
+import type { GatewayEvent } from './events.js';
+import { assertNever } from '../core/assertNever.js';
+import type { QueueClass } from '../core/loop/types.js';
+
+/**
+ * Classifies an event for the bounded queue: new requests are shed first, then reports of peers.
+ *
+ * @param event - event to queue
+ * @returns its importance
+ */
+export const classifyEvent = (event: GatewayEvent): QueueClass => {
+  switch (event.kind) {
+    case 'caller-arrived':
+      return 'new-request';
+    case 'peer-heard':
+      return 'report';
+    case 'answer-started':
+    case 'answer-continued':
+    case 'answer-ended':
+    case 'attempt-sent':
+    case 'attempt-failed':
+    case 'caller-gone':
+    case 'feed-answered':
+    case 'request-arrived':
+      return 'completion';
+    case 'feed-due':
+    case 'configuration-read':
+    case 'registrations-changed':
+    case 'data-centres-changed':
+    case 'attempt-observed':
+    case 'removal-due':
+    case 'report-due':
+    case 'moves-changed':
+    case 'deadline-reached':
+    case 'placement-due':
+    case 'hedge-due':
+    case 'silence-due':
+    case 'drain-started':
+    case 'drain-checked':
+      return 'control';
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/packages/gateway/configuration/configuration.ts
@@ -0,0 +1,44 @@
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { buildRoutingTable } from '../../decisions/forwarding/routing.js';
+import type { RoutingTable } from '../../decisions/forwarding/routing.js';
+import type { ConfigurationEvent, GatewayEffect } from '../events.js';
+
+/** The configuration in force; null before the first one was read. */
+export interface ConfigurationState {
+  readonly table: RoutingTable | null;
+}
+
+/**
+ * Creates the child that keeps the newest configuration. A lower version never replaces a higher
+ * one, whatever order the records come in.
+ *
+ * @returns the decisions of the child
+ */
+export const createConfigurationLogic = (): ChildLogic<
+  ConfigurationState,
+  ConfigurationEvent,
+  GatewayEffect
+> => ({
+  init: () => toStep<ConfigurationState, GatewayEffect>({ table: null }),
+  decide: (state, { configuration }) => {
+    if (state.table !== null && state.table.version >= configuration.version) return toStep(state);
+    const { limits, routes, services, version } = configuration;
+    return toStep<ConfigurationState, GatewayEffect>(
+      { table: buildRoutingTable(configuration) },
+      {
+        kind: 'apply-limits',
+        idleTimeoutMs: limits.idleTimeoutMs,
+        headerTimeoutMs: limits.headerTimeoutMs,
+        maxBodyBytes: limits.maxBodyBytes,
+      },
+      {
+        kind: 'log',
+        name: 'configuration-applied',
+        details: {
+          data: { version, before: state.table?.version ?? 0, routes: routes.length, services: services.length },
+        },
+      },
+    );
+  },
+});
--- /dev/null
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -0,0 +1,116 @@
+import { request as openRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
+import type { AttemptFailure, AttemptOrder, RequestsEvent } from '../events.js';
+import type { HeadCodec } from '../types.js';
+
+/** Sends attempts to endpoints; each has a connection of its own. */
+export interface EndpointClient {
+  readonly open: (order: AttemptOrder) => void;
+  /** Ends the connection of an attempt, which makes the endpoint stop. */
+  readonly cancel: (key: number, attempt: number) => void;
+  readonly close: () => void;
+}
+
+const toName = (key: number, attempt: number): string => `${key.toString()}/${attempt.toString()}`;
+
+const isParseError = (error: Error): boolean =>
+  'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
+
+/**
+ * Creates the client of the endpoints. A connection carries one request only, so that a late or
+ * second answer can never be taken for that of the next request.
+ *
+ * @param codec - translation of heads
+ * @param post - receives what happens to the attempts
+ * @returns the client
+ */
+export const createEndpointClient = (
+  codec: HeadCodec,
+  post: (event: RequestsEvent) => void,
+): EndpointClient => {
+  const running = new Map<string, ClientRequest>();
+
+  const open = (order: AttemptOrder): void => {
+    const { address, attempt, key, request } = order;
+    const name = toName(key, attempt);
+    const to = { to: 'requests', key, attempt } as const;
+    let phase: 'connecting' | 'sent' | 'ended' = 'connecting';
+    let answer: IncomingMessage | null = null;
+
+    const end = (event: RequestsEvent): void => {
+      if (phase === 'ended') return;
+      phase = 'ended';
+      clearTimeout(connectTimer);
+      if (running.get(name) === outgoing) running.delete(name);
+      post(event);
+    };
+
+    const fail = (error: Error): void => {
+      // The rest of a complete answer is still on its way through the stream.
+      if (answer?.complete === true) return;
+      const kind: AttemptFailure['kind'] =
+        phase === 'connecting' ? 'unreachable' : isParseError(error) ? 'garbled' : 'broken';
+      end({ ...to, kind: 'attempt-failed', failure: { kind, message: error.message } });
+    };
+
+    const outgoing = openRequest({
+      host: address.host,
+      port: address.port,
+      method: request.method,
+      path: request.path,
+      headers: codec.encodeAttempt(request, order.head),
+      agent: false,
+      setHost: false,
+    });
+    running.set(name, outgoing);
+    const connectTimer = setTimeout(() => {
+      outgoing.destroy(new Error('the connection was not made in time'));
+    }, CONNECT_TIMEOUT_MS);
+
+    outgoing.on('socket', (socket) => {
+      socket.setNoDelay(true);
+      socket.once('connect', () => {
+        clearTimeout(connectTimer);
+        if (phase !== 'connecting') return;
+        phase = 'sent';
+        post({ ...to, kind: 'attempt-sent' });
+      });
+    });
+    outgoing.on('error', fail);
+    outgoing.on('response', (incoming) => {
+      answer = incoming;
+      const head = codec.decodeAnswer(incoming.statusCode ?? 0, incoming.rawHeaders);
+      if (phase === 'ended') return;
+      post({ ...to, kind: 'answer-started', head });
+      incoming.on('data', (bytes: Buffer) => {
+        if (phase !== 'ended') post({ ...to, kind: 'answer-continued', bytes });
+      });
+      incoming.on('end', () => {
+        end({ ...to, kind: 'answer-ended' });
+      });
+      incoming.on('error', fail);
+      incoming.on('close', () => {
+        if (!incoming.complete) fail(new Error('the connection ended before the answer'));
+      });
+    });
+    outgoing.on('close', () => {
+      if (answer === null) fail(new Error('the connection ended without an answer'));
+    });
+    outgoing.end(request.body);
+  };
+
+  return {
+    open,
+    cancel: (key, attempt) => {
+      const name = toName(key, attempt);
+      const outgoing = running.get(name);
+      running.delete(name);
+      outgoing?.destroy();
+    },
+    close: () => {
+      for (const outgoing of running.values()) outgoing.destroy();
+      running.clear();
+    },
+  };
+};
--- /dev/null
+++ b/packages/gateway/events.ts
@@ -0,0 +1,117 @@
+import type { AnswerHead, AttemptHead, FeedName, FeedResult, MoveOrder, RecordChange } from './types.js';
+import type { PeerMessage } from './peers/types.js';
+import type { Millis } from '../core/clock.js';
+import type { EventName } from '../core/events/catalogue.js';
+import type { EventDetails } from '../core/events/types.js';
+import type { EndpointId } from '../core/ids.js';
+import type { Failure } from '../core/verdict.js';
+import type { AttemptSign } from '../decisions/forwarding/endpointHealth.js';
+import type {
+  EndpointAddress,
+  ForwardingConfiguration,
+  ForwardRequest,
+} from '../decisions/forwarding/types.js';
+
+/** How an attempt ended without a usable answer. */
+export type AttemptFailure =
+  /** No connection was made, so nothing was sent. */
+  | { readonly kind: 'unreachable'; readonly message: string }
+  /** The connection ended before the answer did. */
+  | { readonly kind: 'broken'; readonly message: string }
+  /** The bytes are no answer to this request. */
+  | { readonly kind: 'garbled'; readonly message: string };
+
+export type FeedsEvent = { readonly to: 'feeds' } & (
+  | { readonly kind: 'feed-answered'; readonly feed: FeedName; readonly result: FeedResult }
+  | { readonly kind: 'feed-due'; readonly feed: FeedName }
+);
+
+export type ConfigurationEvent = { readonly to: 'configuration' } & {
+  readonly kind: 'configuration-read';
+  readonly configuration: ForwardingConfiguration;
+};
+
+export type MembershipEvent = { readonly to: 'membership' } & (
+  | {
+      readonly kind: 'registrations-changed';
+      readonly changes: readonly RecordChange[];
+      readonly scope: 'all' | 'changed';
+      /** Whether a removal may only mean that the store was away. */
+      readonly removals: 'certain' | 'doubtful';
+    }
+  | { readonly kind: 'data-centres-changed'; readonly changes: readonly RecordChange[]; readonly scope: 'all' | 'changed' }
+  | { readonly kind: 'attempt-observed'; readonly endpoint: EndpointId; readonly sign: AttemptSign }
+  | { readonly kind: 'removal-due'; readonly id: EndpointId; readonly removedAt: Millis }
+);
+
+export type PeersEvent = { readonly to: 'peers' } & (
+  | { readonly kind: 'peer-heard'; readonly host: string; readonly message: PeerMessage }
+  | { readonly kind: 'report-due' }
+);
+
+export type MovesEvent = { readonly to: 'moves' } & {
+  readonly kind: 'moves-changed';
+  readonly orders: readonly MoveOrder[];
+  readonly withdrawn: readonly string[];
+  readonly scope: 'all' | 'changed';
+};
+
+export type RequestsEvent = { readonly to: 'requests' } & (
+  | { readonly kind: 'request-arrived'; readonly request: ForwardRequest }
+  | { readonly kind: 'caller-gone'; readonly key: number }
+  | { readonly kind: 'answer-started'; readonly key: number; readonly attempt: number; readonly head: AnswerHead }
+  | { readonly kind: 'answer-continued'; readonly key: number; readonly attempt: number; readonly bytes: Uint8Array }
+  | { readonly kind: 'answer-ended'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'attempt-sent'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'attempt-failed'; readonly key: number; readonly attempt: number; readonly failure: AttemptFailure }
+  | { readonly kind: 'deadline-reached'; readonly key: number }
+  | { readonly kind: 'placement-due'; readonly key: number }
+  | { readonly kind: 'hedge-due'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'silence-due'; readonly key: number; readonly attempt: number }
+);
+
+export type FrontendEvent = { readonly to: 'frontend' } & (
+  | { readonly kind: 'caller-arrived'; readonly request: ForwardRequest }
+  | { readonly kind: 'drain-started' }
+  | { readonly kind: 'drain-checked' }
+);
+
+export type GatewayEvent =
+  | FeedsEvent
+  | ConfigurationEvent
+  | MembershipEvent
+  | PeersEvent
+  | MovesEvent
+  | RequestsEvent
+  | FrontendEvent;
+
+/** One attempt to be sent to an endpoint. */
+export interface AttemptOrder {
+  readonly key: number;
+  readonly attempt: number;
+  readonly address: EndpointAddress;
+  readonly head: AttemptHead;
+  readonly request: ForwardRequest;
+}
+
+export type GatewayEffect =
+  | { readonly kind: 'post'; readonly event: GatewayEvent }
+  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: GatewayEvent }
+  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | { readonly kind: 'count'; readonly name: string; readonly labels: Readonly<Record<string, string>> }
+  | { readonly kind: 'record-latency'; readonly name: string; readonly route: string; readonly duration: Millis }
+  | { readonly kind: 'load-feed'; readonly feed: FeedName }
+  | { readonly kind: 'read-feed'; readonly feed: FeedName; readonly position: number; readonly waitMs: Millis }
+  | { readonly kind: 'send-peers'; readonly hosts: readonly string[]; readonly message: PeerMessage }
+  | { readonly kind: 'open-attempt'; readonly order: AttemptOrder }
+  | { readonly kind: 'cancel-attempt'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'start-answer'; readonly key: number; readonly head: AnswerHead }
+  | { readonly kind: 'write-answer'; readonly key: number; readonly bytes: Uint8Array }
+  | { readonly kind: 'end-answer'; readonly key: number }
+  | { readonly kind: 'send-whole'; readonly key: number; readonly head: AnswerHead; readonly body: Uint8Array }
+  | { readonly kind: 'refuse'; readonly key: number; readonly failure: Failure }
+  | { readonly kind: 'break-answer'; readonly key: number }
+  | { readonly kind: 'reset-requests' }
+  | { readonly kind: 'apply-limits'; readonly idleTimeoutMs: Millis; readonly headerTimeoutMs: Millis; readonly maxBodyBytes: number }
+  | { readonly kind: 'close-idle' }
+  | { readonly kind: 'end-process'; readonly left: number };
--- /dev/null
+++ b/packages/gateway/feeds/feeds.ts
@@ -0,0 +1,207 @@
+import { FEED_PAUSE_MS, FEED_RETRY_MS, FEED_WAIT_MS, RETURN_GRACE_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import type { FeedsEvent, GatewayEffect } from '../events.js';
+import type { FeedName, FeedResult, RecordChange } from '../types.js';
+
+/** Where this daemon is in one stream of records. */
+export type FeedState =
+  | { readonly kind: 'loading'; readonly failingSince: Millis | null }
+  | {
+      readonly kind: 'following';
+      readonly position: number;
+      readonly failingSince: Millis | null;
+      readonly readAt: Millis;
+      /** Removals until then may only mean that the store was away. */
+      readonly doubtUntil: Millis;
+    };
+
+export type FeedsState = Readonly<Record<FeedName, FeedState>>;
+
+type Scope = 'all' | 'changed';
+
+const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
+
+const readEffect = (feed: FeedName, state: FeedState): GatewayEffect =>
+  state.kind === 'loading'
+    ? { kind: 'load-feed', feed }
+    : { kind: 'read-feed', feed, position: state.position, waitMs: FEED_WAIT_MS[feed] };
+
+const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
+  changes.flatMap((change) =>
+    change.kind === 'unreadable'
+      ? [
+          {
+            kind: 'log' as const,
+            name: 'record-unreadable' as const,
+            details: { entity: change.key, data: { feed, reason: change.reason } },
+          },
+        ]
+      : [],
+  );
+
+const publishOperator = (changes: readonly RecordChange[], scope: Scope): GatewayEffect[] => {
+  const effects: GatewayEffect[] = [];
+  for (const change of changes) {
+    if (change.kind !== 'configuration') continue;
+    const { configuration } = change;
+    const event = { to: 'configuration', kind: 'configuration-read', configuration } as const;
+    effects.push({ kind: 'post', event });
+  }
+  effects.push({ kind: 'post', event: { to: 'membership', kind: 'data-centres-changed', changes, scope } });
+  const orders = changes.flatMap((change) => (change.kind === 'move-ordered' ? [change.order] : []));
+  const withdrawn = changes.flatMap((change) => (change.kind === 'move-withdrawn' ? [change.service] : []));
+  if (orders.length + withdrawn.length > 0 || scope === 'all') {
+    effects.push({ kind: 'post', event: { to: 'moves', kind: 'moves-changed', orders, withdrawn, scope } });
+  }
+  return effects;
+};
+
+const publishChanges = (
+  feed: FeedName,
+  changes: readonly RecordChange[],
+  scope: Scope,
+  removals: 'certain' | 'doubtful',
+): GatewayEffect[] => {
+  if (changes.length === 0 && scope === 'changed') return [];
+  const unreadable = describeUnreadable(feed, changes);
+  switch (feed) {
+    case 'operator':
+      return [...unreadable, ...publishOperator(changes, scope)];
+    case 'registrations':
+      return [
+        ...unreadable,
+        {
+          kind: 'post',
+          event: { to: 'membership', kind: 'registrations-changed', changes, scope, removals },
+        },
+      ];
+    default:
+      return assertNever(feed);
+  }
+};
+
+const describeReturn = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
+  state.failingSince === null
+    ? []
+    : [
+        {
+          kind: 'log',
+          name: 'log-available',
+          details: { data: { feed, awayMs: Math.round(now - state.failingSince) } },
+        },
+      ];
+
+/** Returns until when removals are doubtful, after a read that succeeded. */
+const computeDoubt = (state: FeedState, now: Millis): Millis => {
+  if (state.failingSince !== null) return now + RETURN_GRACE_MS;
+  return state.kind === 'following' ? state.doubtUntil : 0;
+};
+
+const handleSuccess = (
+  feed: FeedName,
+  state: FeedState,
+  result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
+  now: Millis,
+): Step<FeedState, GatewayEffect> => {
+  const doubtUntil = computeDoubt(state, now);
+  const scope = result.kind === 'loaded' ? 'all' : 'changed';
+  const removals = now < doubtUntil ? 'doubtful' : 'certain';
+  const next: FeedState = {
+    kind: 'following',
+    position: result.position,
+    failingSince: null,
+    readAt: now,
+    doubtUntil,
+  };
+  const pauseMs = result.changes.length === 0 ? 0 : FEED_PAUSE_MS[feed];
+  return {
+    state: next,
+    effects: [
+      ...describeReturn(feed, state, now),
+      ...publishChanges(feed, result.changes, scope, removals),
+      pauseMs === 0
+        ? readEffect(feed, next)
+        : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
+    ],
+  };
+};
+
+const handleFailure = (
+  feed: FeedName,
+  state: FeedState,
+  message: string,
+  now: Millis,
+): Step<FeedState, GatewayEffect> => {
+  const retry: GatewayEffect = {
+    kind: 'schedule',
+    delayMs: FEED_RETRY_MS,
+    event: { to: 'feeds', kind: 'feed-due', feed },
+  };
+  if (state.failingSince !== null) return toStep(state, retry);
+  const readAt = state.kind === 'following' ? state.readAt : 0;
+  const data = { feed, message, ageMs: readAt === 0 ? -1 : Math.round(now - readAt) };
+  return toStep<FeedState, GatewayEffect>({ ...state, failingSince: now }, retry, {
+    kind: 'log',
+    name: 'log-unavailable',
+    details: { data },
+  });
+};
+
+const handleResult = (
+  feed: FeedName,
+  state: FeedState,
+  result: FeedResult,
+  now: Millis,
+): Step<FeedState, GatewayEffect> => {
+  switch (result.kind) {
+    case 'loaded':
+    case 'read':
+      return handleSuccess(feed, state, result, now);
+    case 'expired':
+      return toStep<FeedState, GatewayEffect>(
+        { kind: 'loading', failingSince: state.failingSince },
+        { kind: 'log', name: 'feed-reloaded', details: { data: { feed } } },
+        { kind: 'load-feed', feed },
+      );
+    case 'failed':
+      return handleFailure(feed, state, result.message, now);
+    default:
+      return assertNever(result);
+  }
+};
+
+/**
+ * Creates the child that follows the records of operators and endpoints in the platform's store. It
+ * loads the newest records once and then reads on from their end.
+ *
+ * @param clock - time of the reads
+ * @returns the decisions of the child
+ */
+export const createFeedsLogic = (
+  clock: Clock,
+): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
+  init: () => ({
+    state: {
+      operator: { kind: 'loading', failingSince: null },
+      registrations: { kind: 'loading', failingSince: null },
+    },
+    effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
+  }),
+  decide: (state, event) => {
+    const { feed } = event;
+    switch (event.kind) {
+      case 'feed-due':
+        return toStep<FeedsState, GatewayEffect>(state, readEffect(feed, state[feed]));
+      case 'feed-answered': {
+        const step = handleResult(feed, state[feed], event.result, clock.now());
+        return { state: { ...state, [feed]: step.state }, effects: step.effects };
+      }
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/gateway/frontend/callerServer.ts
@@ -0,0 +1,157 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import {
+  DEFAULT_MAX_BODY_BYTES,
+  LISTEN_BACKLOG,
+  MAX_HEADER_BYTES,
+  MAX_HELD_BODY_BYTES,
+} from './constants.js';
+import type { Responders } from './responders.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import { createFailure } from '../../core/verdict.js';
+import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
+import type { HeadCodec } from '../types.js';
+
+export interface CallerServerOptions {
+  readonly codec: HeadCodec;
+  readonly clock: Clock;
+  readonly responders: Responders;
+  readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
+  readonly postGone: (key: number) => void;
+}
+
+export interface CallerServer {
+  readonly listen: (address: EndpointAddress) => Promise<void>;
+  readonly applyLimits: (
+    idleTimeoutMs: Millis,
+    headerTimeoutMs: Millis,
+    maxBodyBytes: number,
+  ) => void;
+  readonly closeIdle: () => void;
+  readonly close: () => void;
+}
+
+type BodyResult =
+  | { readonly kind: 'whole'; readonly body: Uint8Array }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'no-room' }
+  | { readonly kind: 'broken' };
+
+/** Bytes of bodies that are held now, over all requests of the server. */
+interface BodyRoom {
+  held: number;
+  maxBodyBytes: number;
+}
+
+const readBody = (incoming: IncomingMessage, room: BodyRoom): Promise<BodyResult> =>
+  new Promise((resolve) => {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    const stop = (result: BodyResult): void => {
+      room.held -= size;
+      size = 0;
+      incoming.removeAllListeners('data');
+      resolve(result);
+    };
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      room.held += chunk.length;
+      if (size > room.maxBodyBytes) stop({ kind: 'too-large' });
+      else if (room.held > MAX_HELD_BODY_BYTES) stop({ kind: 'no-room' });
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => {
+      stop({
+        kind: 'whole',
+        body: chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks),
+      });
+    });
+    incoming.on('close', () => {
+      stop({ kind: 'broken' });
+    });
+    // The end of the connection is told by `close`; without a listener the error ends the process.
+    incoming.on('error', () => undefined);
+  });
+
+const TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
+const NO_ROOM = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
+const SHED = createFailure('not-run', 'overloaded', 'too many events wait', 200);
+
+/**
+ * Creates the server for callers. It reads each request whole before it hands it on, since a body
+ * that may be sent to a second endpoint must be at hand.
+ *
+ * @param options - codec, clock and receivers
+ * @returns the server, not yet listening
+ */
+export const createCallerServer = (options: CallerServerOptions): CallerServer => {
+  const { codec, clock, responders } = options;
+  const room: BodyRoom = { held: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
+  let nextKey = 1;
+
+  const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const receivedAt = clock.now();
+    const head = codec.decodeCaller(
+      incoming.method ?? 'GET',
+      incoming.url ?? '/',
+      incoming.rawHeaders,
+    );
+    const key = nextKey;
+    nextKey += 1;
+    responders.open(key, head.id, response);
+    const read = await readBody(incoming, room);
+    switch (read.kind) {
+      case 'broken':
+        responders.forget(key);
+        return;
+      case 'too-large':
+        responders.refuse(key, TOO_LARGE);
+        return;
+      case 'no-room':
+        responders.refuse(key, NO_ROOM);
+        return;
+      case 'whole':
+        break;
+    }
+    response.on('close', () => {
+      if (responders.has(key)) options.postGone(key);
+    });
+    const request: ForwardRequest = { ...head, key, body: read.body, receivedAt };
+    if (options.postArrival(request) === 'shed') responders.refuse(key, SHED);
+  };
+
+  const server: Server = createServer(
+    { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
+    (incoming, response) => {
+      void accept(incoming, response);
+    },
+  );
+  server.on('clientError', (error, socket) => {
+    responders.countBadCaller(error);
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    else socket.destroy();
+  });
+
+  return {
+    listen: ({ host, port }) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    applyLimits: (idleTimeoutMs, headerTimeoutMs, maxBodyBytes) => {
+      server.keepAliveTimeout = idleTimeoutMs;
+      server.headersTimeout = headerTimeoutMs;
+      room.maxBodyBytes = maxBodyBytes;
+    },
+    closeIdle: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () => {
+      server.closeAllConnections();
+    },
+  };
+};
--- /dev/null
+++ b/packages/gateway/frontend/gate.ts
@@ -0,0 +1,87 @@
+import { CLOSE_IDLE_MS, DRAIN_CHECK_MS, DRAIN_MIN_MS, GRACE_MARGIN_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import type { FrontendEvent, GatewayEffect } from '../events.js';
+
+/** Whether the daemon stays or is on its way out. */
+export type GateState =
+  | { readonly phase: 'accepting' }
+  | { readonly phase: 'draining'; readonly since: Millis }
+  | { readonly phase: 'closing'; readonly since: Millis };
+
+export interface GateInputs {
+  readonly clock: Clock;
+  /** Time from the order to stop until the process is killed. */
+  readonly graceMs: Millis;
+  readonly countOpen: () => number;
+}
+
+const CHECK: GatewayEffect = {
+  kind: 'schedule',
+  delayMs: DRAIN_CHECK_MS,
+  event: { to: 'frontend', kind: 'drain-checked' },
+};
+
+const checkDrain = (state: GateState, inputs: GateInputs): Step<GateState, GatewayEffect> => {
+  const now = inputs.clock.now();
+  const left = inputs.countOpen();
+  switch (state.phase) {
+    case 'accepting':
+      return toStep<GateState, GatewayEffect>(state);
+    case 'draining': {
+      const drainedMs = now - state.since;
+      const isDone = left === 0 && drainedMs >= DRAIN_MIN_MS;
+      const isOver = drainedMs >= inputs.graceMs - GRACE_MARGIN_MS;
+      if (!isDone && !isOver) return toStep<GateState, GatewayEffect>(state, CHECK);
+      return toStep<GateState, GatewayEffect>(
+        { phase: 'closing', since: now },
+        { kind: 'close-idle' },
+        CHECK,
+      );
+    }
+    case 'closing':
+      return now - state.since < CLOSE_IDLE_MS
+        ? toStep<GateState, GatewayEffect>(state, CHECK)
+        : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
+    default:
+      return assertNever(state);
+  }
+};
+
+/**
+ * Creates the child that lets requests in and leads the daemon out. While it drains it still serves
+ * what comes on connections that callers keep open.
+ *
+ * @param inputs - clock, grace period and open requests
+ * @returns the decisions of the child
+ */
+export const createGateLogic = (
+  inputs: GateInputs,
+): ChildLogic<GateState, FrontendEvent, GatewayEffect> => ({
+  init: () => toStep<GateState, GatewayEffect>({ phase: 'accepting' }),
+  decide: (state, event) => {
+    switch (event.kind) {
+      case 'caller-arrived':
+        return toStep<GateState, GatewayEffect>(state, {
+          kind: 'post',
+          event: { to: 'requests', kind: 'request-arrived', request: event.request },
+        });
+      case 'drain-started': {
+        if (state.phase !== 'accepting') return toStep<GateState, GatewayEffect>(state);
+        const data = { open: inputs.countOpen(), graceMs: inputs.graceMs };
+        return toStep<GateState, GatewayEffect>(
+          { phase: 'draining', since: inputs.clock.now() },
+          { kind: 'log', name: 'daemon-stopping', details: { data } },
+          CHECK,
+        );
+      }
+      case 'drain-checked':
+        return checkDrain(state, inputs);
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/gateway/frontend/responders.ts
@@ -0,0 +1,130 @@
+import type { ServerResponse } from 'node:http';
+import { MAX_UNREAD_BYTES } from './constants.js';
+import type { Failure } from '../../core/verdict.js';
+import { toProblem } from '../../wire/problem.js';
+import type { AnswerHead } from '../types.js';
+
+const MILLIS_PER_SECOND = 1_000;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+/** Open answers to callers, by the number of the request. */
+export interface Responders {
+  readonly open: (key: number, requestId: string, response: ServerResponse) => void;
+  readonly has: (key: number) => boolean;
+  /** Drops an answer whose caller is gone. */
+  readonly forget: (key: number) => void;
+  readonly startAnswer: (key: number, head: AnswerHead) => void;
+  /** Writes bytes; `too-slow` when the caller does not read them. */
+  readonly writeAnswer: (key: number, bytes: Uint8Array) => 'written' | 'too-slow';
+  readonly endAnswer: (key: number) => void;
+  readonly sendWhole: (key: number, head: AnswerHead, body: Uint8Array) => void;
+  readonly refuse: (key: number, failure: Failure) => void;
+  /** Ends the connection without completing the answer. */
+  readonly breakAnswer: (key: number) => void;
+  readonly failAll: (failure: Failure) => void;
+  /** Marks all further answers as the last of their connections. */
+  readonly startDrain: () => void;
+  readonly countBadCaller: (error: Error) => void;
+}
+
+interface OpenAnswer {
+  readonly requestId: string;
+  readonly response: ServerResponse;
+}
+
+/**
+ * Creates the table of open answers.
+ *
+ * @param onBadCaller - receives errors of connections whose bytes are no request
+ * @returns the empty table
+ */
+export const createResponders = (onBadCaller: (error: Error) => void): Responders => {
+  const open = new Map<number, OpenAnswer>();
+  let phase: 'serving' | 'draining' = 'serving';
+
+  const take = (key: number): OpenAnswer | undefined => {
+    const answer = open.get(key);
+    open.delete(key);
+    return answer;
+  };
+
+  const buildHeaders = (headers: readonly string[]): string[] =>
+    phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
+
+  const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
+    const answer = take(key);
+    if (answer === undefined) return;
+    const { response } = answer;
+    const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
+    const length = hasBody ? ['Content-Length', body.length.toString()] : [];
+    response.sendDate = false;
+    response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
+    response.end(hasBody ? body : undefined);
+  };
+
+  const refuse = (key: number, failure: Failure): void => {
+    const answer = take(key);
+    if (answer === undefined) return;
+    const { response, requestId } = answer;
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const problem = toProblem(failure, requestId);
+    const body = Buffer.from(JSON.stringify(problem));
+    const retryAfter =
+      failure.retryAfterMs === undefined
+        ? []
+        : ['Retry-After', (failure.retryAfterMs / MILLIS_PER_SECOND).toFixed(3)];
+    response.sendDate = false;
+    response.writeHead(
+      problem.status,
+      buildHeaders([
+        'Content-Type',
+        'application/problem+json',
+        'Content-Length',
+        body.length.toString(),
+        ...retryAfter,
+      ]),
+    );
+    response.end(body);
+  };
+
+  return {
+    open: (key, requestId, response) => {
+      open.set(key, { requestId, response });
+    },
+    has: (key) => open.has(key),
+    forget: (key) => {
+      open.delete(key);
+    },
+    startAnswer: (key, head) => {
+      const response = open.get(key)?.response;
+      if (response === undefined) return;
+      response.sendDate = false;
+      response.writeHead(head.status, buildHeaders(head.headers));
+    },
+    writeAnswer: (key, bytes) => {
+      const response = open.get(key)?.response;
+      if (response === undefined) return 'written';
+      response.write(bytes);
+      return response.writableLength > MAX_UNREAD_BYTES ? 'too-slow' : 'written';
+    },
+    endAnswer: (key) => {
+      take(key)?.response.end();
+    },
+    sendWhole,
+    refuse,
+    breakAnswer: (key) => {
+      take(key)?.response.destroy();
+    },
+    failAll: (failure) => {
+      for (const key of [...open.keys()]) refuse(key, failure);
+    },
+    startDrain: () => {
+      phase = 'draining';
+    },
+    countBadCaller: onBadCaller,
+  };
+};
--- /dev/null
+++ b/packages/gateway/frontend/statusServer.ts
@@ -0,0 +1,55 @@
+import { createServer } from 'node:http';
+import type { EndpointAddress } from '../../decisions/forwarding/types.js';
+
+/** A page of the daemon itself. */
+export interface StatusPage {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+export interface StatusServer {
+  readonly listen: (address: EndpointAddress) => Promise<void>;
+  readonly close: () => void;
+}
+
+/**
+ * Creates a server for pages of the daemon itself, such as readiness and metrics.
+ *
+ * @param getPage - page of a path, or null when there is none
+ * @param onError - receives a page that could not be built
+ * @returns the server, not yet listening
+ */
+export const createStatusServer = (
+  getPage: (path: string) => Promise<StatusPage | null>,
+  onError: (error: unknown) => void,
+): StatusServer => {
+  const server = createServer((incoming, response) => {
+    getPage(incoming.url ?? '/')
+      .then((page) => {
+        response.writeHead(page?.status ?? 404, {
+          'content-type': page?.contentType ?? 'text/plain',
+        });
+        response.end(page?.body ?? 'not found\n');
+      })
+      .catch((error: unknown) => {
+        onError(error);
+        response.writeHead(500);
+        response.end();
+      });
+  });
+  return {
+    listen: ({ host, port }) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(port, host, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
--- /dev/null
+++ b/packages/gateway/membership/candidates.ts
@@ -0,0 +1,47 @@
+import type { MembershipState } from './membership.js';
+import type { Millis } from '../../core/clock.js';
+import type { Candidate } from '../../decisions/forwarding/placeForward.js';
+import type { ServiceName } from '../../decisions/forwarding/types.js';
+import { sumPeerLoad } from '../peers/peers.js';
+import type { PeersState } from '../peers/peers.js';
+import type { RequestsState } from '../requests/types.js';
+
+/** States from which the candidates of a placement are made. */
+export interface CandidateSources {
+  readonly membership: MembershipState;
+  readonly peers: PeersState;
+  readonly requests: RequestsState;
+}
+
+/**
+ * Lists the endpoints of a service for a placement, without those in data centres that operators
+ * took out.
+ *
+ * @param service - service of the request
+ * @param sources - states of membership, peers and requests
+ * @param now - current instant
+ * @returns the candidates
+ */
+export const listCandidates = (
+  service: ServiceName,
+  { membership, peers, requests }: CandidateSources,
+  now: Millis,
+): readonly Candidate[] => {
+  const candidates: Candidate[] = [];
+  for (const { health, record, recordedAt } of membership.endpoints.values()) {
+    if (record.service !== service || membership.out.has(record.dataCentre)) continue;
+    const own = requests.load.get(record.id);
+    const others = sumPeerLoad(peers, record.id, now);
+    const isCold = now < recordedAt + record.coldRemainingMs;
+    candidates.push({
+      record,
+      health,
+      load: {
+        requests: others.requests + (own?.requests ?? 0),
+        tokens: others.tokens + (own?.tokens ?? 0),
+      },
+      coldRoom: isCold ? 0 : null,
+    });
+  }
+  return candidates;
+};
--- /dev/null
+++ b/packages/gateway/membership/membership.ts
@@ -0,0 +1,191 @@
+import { DOUBTFUL_REMOVAL_MS } from './constants.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import type { DataCentreId, EndpointId } from '../../core/ids.js';
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { NEW_ENDPOINT_HEALTH, observeAttempt } from '../../decisions/forwarding/endpointHealth.js';
+import type { AttemptSign, EndpointHealth } from '../../decisions/forwarding/endpointHealth.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
+import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { RecordChange } from '../types.js';
+
+/** One endpoint with what this daemon has seen of it. */
+export interface KnownEndpoint {
+  readonly record: EndpointRecord;
+  readonly health: EndpointHealth;
+  readonly recordedAt: Millis;
+  /** Instant of a removal that is held back; null while the registration stands. */
+  readonly removedAt: Millis | null;
+}
+
+/** Endpoints and data centres; the maps are updated in place by this child alone. */
+export interface MembershipState {
+  readonly loaded: 'yes' | 'no';
+  readonly endpoints: Map<EndpointId, KnownEndpoint>;
+  readonly out: Set<DataCentreId>;
+}
+
+type Effects = GatewayEffect[];
+
+const describeEndpoint = (record: EndpointRecord, change: string): GatewayEffect => ({
+  kind: 'log',
+  name: 'endpoint-changed',
+  details: {
+    endpoint: record.id,
+    dataCentre: record.dataCentre,
+    data: { change, service: record.service, version: record.version, phase: record.phase },
+  },
+});
+
+const isNewLife = (known: KnownEndpoint, record: EndpointRecord): boolean =>
+  known.record.startedAt !== record.startedAt ||
+  known.record.address.host !== record.address.host ||
+  known.record.address.port !== record.address.port;
+
+const registerEndpoint = (
+  { endpoints }: MembershipState,
+  record: EndpointRecord,
+  now: Millis,
+): Effects => {
+  const known = endpoints.get(record.id);
+  const isNew = known === undefined || isNewLife(known, record);
+  const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
+  endpoints.set(record.id, { record, health, recordedAt: now, removedAt: null });
+  if (isNew) return [describeEndpoint(record, 'registered')];
+  return known.record.phase === record.phase ? [] : [describeEndpoint(record, 'phase')];
+};
+
+const removeEndpoint = (
+  { endpoints }: MembershipState,
+  id: EndpointId,
+  removals: 'certain' | 'doubtful',
+  now: Millis,
+): Effects => {
+  const known = endpoints.get(id);
+  if (known === undefined) return [];
+  if (removals === 'certain' || known.record.phase === 'leaving') {
+    endpoints.delete(id);
+    return [describeEndpoint(known.record, 'removed')];
+  }
+  if (known.removedAt !== null) return [];
+  endpoints.set(id, { ...known, removedAt: now });
+  return [
+    {
+      kind: 'schedule',
+      delayMs: DOUBTFUL_REMOVAL_MS,
+      event: { to: 'membership', kind: 'removal-due', id, removedAt: now },
+    },
+  ];
+};
+
+const applyRegistrations = (
+  state: MembershipState,
+  event: Extract<MembershipEvent, { kind: 'registrations-changed' }>,
+  now: Millis,
+): Effects => {
+  const effects: Effects = [];
+  const present = new Set<EndpointId>();
+  for (const change of event.changes) {
+    if (change.kind === 'endpoint-registered') {
+      present.add(change.record.id);
+      effects.push(...registerEndpoint(state, change.record, now));
+    } else if (change.kind === 'endpoint-removed') {
+      effects.push(...removeEndpoint(state, change.id, event.removals, now));
+    }
+  }
+  if (event.scope === 'changed') return effects;
+  const missing = [...state.endpoints.keys()].filter((id) => !present.has(id));
+  return [...effects, ...missing.flatMap((id) => removeEndpoint(state, id, event.removals, now))];
+};
+
+const describeDataCentre = (dataCentre: DataCentreId, change: 'out' | 'in'): GatewayEffect => ({
+  kind: 'log',
+  name: 'data-centre-changed',
+  details: { dataCentre, data: { change } },
+});
+
+const applyDataCentres = (
+  { out }: MembershipState,
+  changes: readonly RecordChange[],
+  scope: 'all' | 'changed',
+): Effects => {
+  const effects: Effects = [];
+  const ordered = new Set<DataCentreId>();
+  for (const change of changes) {
+    if (change.kind === 'data-centre-out') {
+      ordered.add(change.dataCentre);
+      if (!out.has(change.dataCentre)) effects.push(describeDataCentre(change.dataCentre, 'out'));
+      out.add(change.dataCentre);
+    } else if (change.kind === 'data-centre-in' && out.delete(change.dataCentre)) {
+      effects.push(describeDataCentre(change.dataCentre, 'in'));
+    }
+  }
+  if (scope === 'changed') return effects;
+  for (const dataCentre of [...out].filter((name) => !ordered.has(name))) {
+    out.delete(dataCentre);
+    effects.push(describeDataCentre(dataCentre, 'in'));
+  }
+  return effects;
+};
+
+const applySign = (
+  { endpoints }: MembershipState,
+  id: EndpointId,
+  sign: AttemptSign,
+  now: Millis,
+): Effects => {
+  const known = endpoints.get(id);
+  if (known === undefined) return [];
+  const health = observeAttempt(known.health, sign, now);
+  endpoints.set(id, { ...known, health });
+  const isAvoided = health.avoidUntil > now && known.health.avoidUntil <= now && sign.kind !== 'full';
+  if (!isAvoided) return [];
+  const data = {
+    sign: sign.kind,
+    failureRate: Math.round(health.failureRate * 100) / 100,
+    forMs: Math.round(health.avoidUntil - now),
+    recordAgeMs: Math.round(now - known.recordedAt),
+  };
+  return [{ kind: 'log', name: 'endpoint-avoided', details: { endpoint: id, data } }];
+};
+
+const applyRemoval = (state: MembershipState, id: EndpointId, removedAt: Millis): Effects => {
+  const known = state.endpoints.get(id);
+  if (known === undefined || known.removedAt !== removedAt) return [];
+  state.endpoints.delete(id);
+  return [describeEndpoint(known.record, 'removed')];
+};
+
+/**
+ * Creates the child that keeps the endpoints, their health as this daemon saw it, and the data
+ * centres that operators took out.
+ *
+ * @param clock - time of records and observations
+ * @returns the decisions of the child
+ */
+export const createMembershipLogic = (
+  clock: Clock,
+): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
+  init: () =>
+    toStep<MembershipState, GatewayEffect>({
+      loaded: 'no',
+      endpoints: new Map(),
+      out: new Set(),
+    }),
+  decide: (state, event) => {
+    const now = clock.now();
+    switch (event.kind) {
+      case 'registrations-changed':
+        return { state: { ...state, loaded: 'yes' }, effects: applyRegistrations(state, event, now) };
+      case 'data-centres-changed':
+        return { state, effects: applyDataCentres(state, event.changes, event.scope) };
+      case 'attempt-observed':
+        return { state, effects: applySign(state, event.endpoint, event.sign, now) };
+      case 'removal-due':
+        return { state, effects: applyRemoval(state, event.id, event.removedAt) };
+      default:
+        return assertNever(event);
+    }
+  },
+});
--- /dev/null
+++ b/packages/gateway/moves/moves.ts
@@ -0,0 +1,25 @@
+import { toStep } from '../../core/step.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import type { ServiceName } from '../../decisions/forwarding/types.js';
+import type { GatewayEffect, MovesEvent } from '../events.js';
+import type { MoveOrder } from '../types.js';
+
+/** Orders to move services to other versions. */
+export interface MovesState {
+  readonly orders: ReadonlyMap<ServiceName, MoveOrder>;
+}
+
+/**
+ * Creates the child that keeps the orders to move services to other versions.
+ *
+ * @returns the decisions of the child
+ */
+export const createMovesLogic = (): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
+  init: () => toStep<MovesState, GatewayEffect>({ orders: new Map() }),
+  decide: (state, event) => {
+    const orders = new Map(event.scope === 'all' ? [] : state.orders);
+    for (const order of event.orders) orders.set(order.service, order);
+    for (const service of event.withdrawn) orders.delete(service);
+    return toStep<MovesState, GatewayEffect>({ orders });
+  },
+});
--- /dev/null
+++ b/packages/gateway/peers/constants.ts
@@ -0,0 +1,24 @@
+/** Interval between reports to the other daemons. */
+export const REPORT_INTERVAL_MS = 200;
+
+/** Age from which the load of a peer no longer counts. */
+export const PEER_LOAD_AGE_MS = 1_500;
+
+/** Age from which a peer no longer counts as one that shares a budget. */
+export const PEER_FORGET_MS = 15_000;
+
+/** Peers that get a report; at larger sizes each daemon reports to a part of the others. */
+export const MAX_REPORT_TARGETS = 16;
+
+/** Hosts named in one report. */
+export const MAX_NAMED_HOSTS = 16;
+
+/** Rows of load in one report, so that it fits into one datagram. */
+export const MAX_LOAD_ROWS = 40;
+
+/** Crashes in one report, and how long each is repeated. */
+export const MAX_NAMED_CRASHES = 8;
+export const CRASH_REPEAT_MS = 3_000;
+
+/** Silent seeds are tried again at this interval. */
+export const SEED_INTERVAL_MS = 1_000;
--- /dev/null
+++ b/packages/gateway/peers/crashReports.ts
@@ -0,0 +1,45 @@
+import { MAX_NAMED_CRASHES } from './constants.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
+import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
+
+interface OwnCrash {
+  readonly fingerprint: string;
+  readonly endpoint: string;
+  readonly at: Millis;
+}
+
+/** Crashes that this daemon saw, with those that others told of. */
+export interface CrashReports {
+  readonly table: CrashTable;
+  readonly addOwn: (fingerprint: string, endpoint: string) => void;
+  readonly addHeard: (fingerprint: string, endpoint: string) => void;
+  /** Lists the newest crashes that this daemon saw itself. */
+  readonly listSince: (since: Millis) => readonly (readonly [string, string])[];
+}
+
+/**
+ * Creates the crash reports of a daemon.
+ *
+ * @param clock - time of the crashes
+ * @returns reports without a crash
+ */
+export const createCrashReports = (clock: Clock): CrashReports => {
+  const table = createCrashTable();
+  let own: readonly OwnCrash[] = [];
+  return {
+    table,
+    addOwn: (fingerprint, endpoint) => {
+      const at = clock.now();
+      recordCrash(table, fingerprint, endpoint, at);
+      own = [...own, { fingerprint, endpoint, at }].slice(-MAX_NAMED_CRASHES);
+    },
+    addHeard: (fingerprint, endpoint) => {
+      recordCrash(table, fingerprint, endpoint, clock.now());
+    },
+    listSince: (since) =>
+      own
+        .filter(({ at }) => at >= since)
+        .map(({ endpoint, fingerprint }) => [fingerprint, endpoint] as const),
+  };
+};
--- /dev/null
+++ b/packages/gateway/peers/peerSocket.ts
@@ -0,0 +1,84 @@
+import { createSocket } from 'node:dgram';
+import type { PeerMessage } from './types.js';
+import { parseJsonBytes } from '../../core/jsonText.js';
+import type { EndpointAddress } from '../../decisions/forwarding/types.js';
+
+export interface PeerSocket {
+  readonly open: () => Promise<void>;
+  readonly send: (hosts: readonly string[], message: PeerMessage) => void;
+  readonly close: () => void;
+}
+
+const isRow = (value: unknown): boolean =>
+  Array.isArray(value) &&
+  typeof value[0] === 'string' &&
+  Number.isFinite(value[1]) &&
+  Number.isFinite(value[2]);
+
+const isPair = (value: unknown): boolean =>
+  Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string';
+
+const isMessage = (value: unknown): value is PeerMessage => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { format, process, load, hosts, crashes } = value as Record<string, unknown>;
+  return (
+    format === 1 &&
+    typeof process === 'string' &&
+    Array.isArray(load) &&
+    load.every(isRow) &&
+    Array.isArray(hosts) &&
+    hosts.every((host) => typeof host === 'string') &&
+    Array.isArray(crashes) &&
+    crashes.every(isPair)
+  );
+};
+
+/**
+ * Reads one datagram of another daemon.
+ *
+ * @param bytes - datagram
+ * @returns the message, or null when it has another format
+ */
+export const decodePeerMessage = (bytes: Uint8Array): PeerMessage | null => {
+  const json = parseJsonBytes(bytes);
+  return json.isOk() && isMessage(json.value) ? json.value : null;
+};
+
+/**
+ * Creates the socket for datagrams of other daemons; all daemons use the same port.
+ *
+ * @param address - own address
+ * @param onMessage - receives each readable message with the sender's host
+ * @param onError - receives errors of the socket
+ * @returns the socket, not yet open
+ */
+export const createPeerSocket = (
+  address: EndpointAddress,
+  onMessage: (host: string, message: PeerMessage) => void,
+  onError: (error: Error) => void,
+): PeerSocket => {
+  const socket = createSocket('udp4');
+  socket.on('error', onError);
+  socket.on('message', (bytes, remote) => {
+    const message = decodePeerMessage(bytes);
+    if (message !== null) onMessage(remote.address, message);
+  });
+  return {
+    open: () =>
+      new Promise((resolve) => {
+        socket.bind(address.port, address.host, resolve);
+      }),
+    send: (hosts, message) => {
+      if (hosts.length === 0) return;
+      const bytes = Buffer.from(JSON.stringify(message));
+      for (const host of hosts) {
+        socket.send(bytes, address.port, host, (error) => {
+          if (error !== null) onError(error);
+        });
+      }
+    },
+    close: () => {
+      socket.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/gateway/peers/types.ts
@@ -0,0 +1,22 @@
+import type { Millis } from '../../core/clock.js';
+
+/** Work of one daemon on one endpoint: id, running requests, tokens of memory. */
+export type LoadRow = readonly [endpoint: string, requests: number, tokens: number];
+
+/** What one gateway daemon tells the others a few times a second. */
+export interface PeerMessage {
+  readonly format: 1;
+  readonly process: string;
+  readonly load: readonly LoadRow[];
+  /** Hosts of other daemons that the sender hears. */
+  readonly hosts: readonly string[];
+  /** Requests whose endpoints crashed: fingerprint and endpoint. */
+  readonly crashes: readonly (readonly [fingerprint: string, endpoint: string])[];
+}
+
+/** Another daemon as it was last heard. */
+export interface Peer {
+  readonly host: string;
+  readonly heardAt: Millis;
+  readonly message: PeerMessage;
+}
--- /dev/null
+++ b/packages/gateway/perform.ts
@@ -0,0 +1,118 @@
+import type { EndpointClient } from './endpoints/endpointClient.js';
+import type { GatewayEffect, GatewayEvent } from './events.js';
+import type { CallerServer } from './frontend/callerServer.js';
+import type { Responders } from './frontend/responders.js';
+import type { PeerSocket } from './peers/peerSocket.js';
+import type { FeedName, FeedReader, FeedResult } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { EventLog } from '../core/events/eventLog.js';
+import type { Loop } from '../core/loop/types.js';
+import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
+import { createFailure } from '../core/verdict.js';
+
+/** Adapters that carry out the effects of a gateway daemon. */
+export interface GatewayAdapters {
+  readonly loop: () => Loop<GatewayEvent>;
+  readonly events: EventLog;
+  readonly metrics: DeferredMetrics;
+  readonly responders: Responders;
+  readonly callers: CallerServer;
+  readonly endpoints: EndpointClient;
+  readonly peers: PeerSocket;
+  readonly feeds: FeedReader;
+  readonly endProcess: (left: number) => void;
+}
+
+const LOST_REQUEST = createFailure(
+  'may-have-run',
+  'internal',
+  'the daemon lost the state of the request',
+);
+
+const postFeed = (
+  feed: FeedName,
+  reading: Promise<FeedResult>,
+  adapters: GatewayAdapters,
+): void => {
+  void reading.then((result) => {
+    adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
+  });
+};
+
+/**
+ * Carries out one effect.
+ *
+ * @param effect - effect of a decision
+ * @param adapters - adapters of the daemon
+ */
+export const performEffect = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
+  const { callers, endpoints, events, feeds, loop, metrics, peers, responders } = adapters;
+  switch (effect.kind) {
+    case 'post':
+      loop().post(effect.event);
+      return;
+    case 'schedule':
+      loop().schedule(effect.delayMs, effect.event);
+      return;
+    case 'log':
+      events.record(effect.name, effect.details);
+      return;
+    case 'count':
+      metrics.addCount(effect.name, effect.labels);
+      return;
+    case 'record-latency':
+      metrics.recordLatency(effect.name, effect.route, effect.duration);
+      return;
+    case 'load-feed':
+      postFeed(effect.feed, feeds.load(effect.feed), adapters);
+      return;
+    case 'read-feed':
+      postFeed(effect.feed, feeds.read(effect.feed, effect.position, effect.waitMs), adapters);
+      return;
+    case 'send-peers':
+      peers.send(effect.hosts, effect.message);
+      return;
+    case 'open-attempt':
+      endpoints.open(effect.order);
+      return;
+    case 'cancel-attempt':
+      endpoints.cancel(effect.key, effect.attempt);
+      return;
+    case 'start-answer':
+      responders.startAnswer(effect.key, effect.head);
+      return;
+    case 'write-answer':
+      if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
+      // The caller reads too slowly to hold its stream here.
+      responders.breakAnswer(effect.key);
+      loop().post({ to: 'requests', kind: 'caller-gone', key: effect.key });
+      return;
+    case 'end-answer':
+      responders.endAnswer(effect.key);
+      return;
+    case 'send-whole':
+      responders.sendWhole(effect.key, effect.head, effect.body);
+      return;
+    case 'refuse':
+      responders.refuse(effect.key, effect.failure);
+      return;
+    case 'break-answer':
+      responders.breakAnswer(effect.key);
+      return;
+    case 'reset-requests':
+      endpoints.close();
+      responders.failAll(LOST_REQUEST);
+      return;
+    case 'apply-limits':
+      callers.applyLimits(effect.idleTimeoutMs, effect.headerTimeoutMs, effect.maxBodyBytes);
+      return;
+    case 'close-idle':
+      callers.closeIdle();
+      return;
+    case 'end-process':
+      adapters.endProcess(effect.left);
+      return;
+    default:
+      assertNever(effect);
+  }
+};
--- /dev/null
+++ b/packages/gateway/requests/answering.ts
@@ -0,0 +1,192 @@
+import { cancelAttempts, closeAttempt } from './attempts.js';
+import { MAX_WHOLE_BYTES } from './constants.js';
+import { finishStream, sendKept } from './outcomes.js';
+import { endAttempt } from './retrying.js';
+import type { AttemptEnd } from './retrying.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
+import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
+import type { GatewayEffect } from '../events.js';
+import type { AnswerHead } from '../types.js';
+
+const STATUS_OK = 200;
+const STATUS_REDIRECT = 300;
+const STATUS_SERVER_ERROR = 500;
+
+const isSuccess = ({ status }: AnswerHead): boolean =>
+  status >= STATUS_OK && status < STATUS_REDIRECT;
+
+const isStreaming = (forwarding: Forwarding, attempt: Attempt): boolean =>
+  forwarding.route.answer === 'stream' && attempt.head !== null && isSuccess(attempt.head);
+
+const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array =>
+  chunks.length === 1 ? (chunks[0] as Uint8Array) : Buffer.concat(chunks);
+
+/** Gives up an attempt whose connection is still open. */
+const abandonAttempt = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  end: AttemptEnd,
+  context: RequestsContext,
+): Effects => [
+  { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
+  ...endAttempt(forwarding, attempt, end, context),
+];
+
+const findFault = (forwarding: Forwarding, head: AnswerHead): AttemptEnd | null => {
+  if (head.requestId !== null && head.requestId !== forwarding.request.id) {
+    return { kind: 'garbled', message: 'the answer belongs to another request' };
+  }
+  if (head.proof === 'not-run') {
+    return { kind: 'refused', message: `the endpoint refused with ${head.status.toString()}` };
+  }
+  if (isSuccess(head) && head.signature === 'unsigned') {
+    return { kind: 'garbled', message: 'the answer has no signature' };
+  }
+  if (head.encoding === 'encoded') {
+    return { kind: 'garbled', message: 'the answer has an encoding that nobody asked for' };
+  }
+  return null;
+};
+
+/**
+ * Takes the head of an endpoint's answer.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is answered
+ * @param head - head of the answer
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const startAnswer = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  head: AnswerHead,
+  context: RequestsContext,
+): Effects => {
+  const fault = findFault(forwarding, head);
+  if (fault !== null) return abandonAttempt(forwarding, attempt, fault, context);
+  attempt.phase = 'answering';
+  attempt.head = head;
+  return [];
+};
+
+const showEvents = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  events: readonly StreamEvent[],
+  context: RequestsContext,
+): Effects => {
+  const now = context.inputs.clock.now();
+  const { key } = forwarding.request;
+  const effects: GatewayEffect[] = [];
+  attempt.lastEventAt = now;
+  if (forwarding.shown === 'nothing') {
+    forwarding.shown = 'events';
+    forwarding.firstEventAt = now;
+    effects.push(
+      { kind: 'start-answer', key, head: attempt.head as AnswerHead },
+      {
+        kind: 'record-latency',
+        name: 'gateway_first_event_ms',
+        route: forwarding.route.name,
+        duration: now - forwarding.request.receivedAt,
+      },
+    );
+  } else {
+    forwarding.longestGapMs = Math.max(forwarding.longestGapMs, now - forwarding.lastShownAt);
+  }
+  forwarding.lastShownAt = now;
+  forwarding.lastEventId = events.findLast(({ id }) => id !== null)?.id ?? forwarding.lastEventId;
+  const bytes = joinChunks(events.map((event) => event.bytes));
+  return [...effects, { kind: 'write-answer', key, bytes }];
+};
+
+/**
+ * Takes bytes of an endpoint's answer.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is answered
+ * @param bytes - next bytes of the body
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const continueAnswer = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  bytes: Uint8Array,
+  context: RequestsContext,
+): Effects => {
+  if (!isStreaming(forwarding, attempt)) {
+    attempt.chunks.push(bytes);
+    attempt.bytes += bytes.length;
+    if (attempt.bytes <= MAX_WHOLE_BYTES) return [];
+    const end = { kind: 'garbled', message: 'the answer is too large' } as const;
+    return abandonAttempt(forwarding, attempt, end, context);
+  }
+  const { events, outcome, state } = splitEvents(attempt.splitter, bytes);
+  attempt.splitter = state;
+  const shown = events.length === 0 ? [] : showEvents(forwarding, attempt, events, context);
+  if (outcome === 'ok') return shown;
+  const end = { kind: 'garbled', message: 'an event is too large' } as const;
+  return [...shown, ...abandonAttempt(forwarding, attempt, end, context)];
+};
+
+const endStream = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const { rest } = attempt.splitter;
+  const hasRest = rest.length > 0;
+  if (forwarding.shown === 'nothing' && !hasRest) {
+    const end = { kind: 'broken', message: 'the stream ended without an event' } as const;
+    return endAttempt(forwarding, attempt, end, context);
+  }
+  const last = hasRest ? showEvents(forwarding, attempt, [{ bytes: rest, id: null }], context) : [];
+  closeAttempt(forwarding, attempt, context.state);
+  const others = cancelAttempts(forwarding, context.state);
+  return [...last, ...others, ...finishStream(forwarding, attempt, context)];
+};
+
+const observeAnswer = (attempt: Attempt, context: RequestsContext): GatewayEffect => ({
+  kind: 'post',
+  event: {
+    to: 'membership',
+    kind: 'attempt-observed',
+    endpoint: attempt.endpoint.id,
+    sign: { kind: 'answered', durationMs: context.inputs.clock.now() - attempt.startedAt },
+  },
+});
+
+/**
+ * Takes the end of an endpoint's answer.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt whose answer is complete
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const finishAnswer = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const { head } = attempt;
+  if (head === null) {
+    const end = { kind: 'garbled', message: 'the answer has no head' } as const;
+    return endAttempt(forwarding, attempt, end, context);
+  }
+  if (isStreaming(forwarding, attempt)) {
+    return [observeAnswer(attempt, context), ...endStream(forwarding, attempt, context)];
+  }
+  const answer = { head, body: joinChunks(attempt.chunks) };
+  if (head.status >= STATUS_SERVER_ERROR || forwarding.shown === 'events') {
+    forwarding.kept = answer;
+    const message = `the endpoint answered with ${head.status.toString()}`;
+    return endAttempt(forwarding, attempt, { kind: 'failed-answer', message }, context);
+  }
+  closeAttempt(forwarding, attempt, context.state);
+  const others = cancelAttempts(forwarding, context.state);
+  return [observeAnswer(attempt, context), ...others, ...sendKept(forwarding, answer, context)];
+};
--- /dev/null
+++ b/packages/gateway/requests/constants.ts
@@ -0,0 +1,39 @@
+/** Part of its target for which a request waits for an endpoint; longer waits are refused. */
+export const HOLD_SHARE = 0.12;
+
+/** Pause before a held request is placed again. */
+export const HOLD_RETRY_MS = 20;
+
+/** Part of its target after which an idempotent request without an answer is sent once more. */
+export const HEDGE_SHARE = 0.6;
+
+/** Share of the gap target after which a silent stream goes on at the endpoint of its copy. */
+export const SILENCE_GAPS = 3;
+
+/** Shortest silence that counts; prompts of other requests delay the tokens of a running one. */
+export const MIN_SILENCE_MS = 450;
+
+/** Attempts that did not run, after which a request is refused. */
+export const MAX_UNRUN_ATTEMPTS = 4;
+
+/** Largest whole answer that is kept until its end has come. */
+export const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
+
+/** Requests in progress above which new ones are refused. */
+export const MAX_REQUESTS = 4_000;
+
+/** Part of the time left after which a refused caller may come back, as callers accept a third. */
+export const RETRY_AFTER_SHARE = 0.2;
+
+/** Bounds of the time after which a refused caller may come back, in ms. */
+export const RETRY_AFTER_MIN_MS = 50;
+export const RETRY_AFTER_MAX_MS = 2_000;
+
+/** Part of the bound of a cold endpoint that is used; requests arrive bunched. */
+export const COLD_USE = 0.7;
+
+/** Window of the bound of a cold endpoint. */
+export const COLD_WINDOW_MS = 1_000;
+
+/** Id from which a generation goes on when its caller has no event yet. */
+export const FIRST_EVENT_ID = '0';
--- /dev/null
+++ b/packages/gateway/requests/outcomes.ts
@@ -0,0 +1,174 @@
+import { RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS, RETRY_AFTER_SHARE } from './constants.js';
+import type { Attempt, Effects, Forwarding, KeptAnswer, RequestsContext } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import type { GatewayEffect } from '../events.js';
+
+const MILLIS_DIGITS = 10;
+
+const roundMs = (duration: Millis): number =>
+  Math.round(duration * MILLIS_DIGITS) / MILLIS_DIGITS;
+
+const computeRetryAfter = (leftMs: Millis): Millis =>
+  Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_AFTER_MIN_MS, leftMs * RETRY_AFTER_SHARE));
+
+const describeTimes = (forwarding: Forwarding, now: Millis) => ({
+  attempts: forwarding.attemptsMade,
+  afterMs: roundMs(now - forwarding.request.receivedAt),
+  firstMs:
+    forwarding.firstEventAt === null
+      ? -1
+      : roundMs(forwarding.firstEventAt - forwarding.request.receivedAt),
+  longestGapMs: roundMs(forwarding.longestGapMs),
+  lastEventId: forwarding.lastEventId ?? '',
+});
+
+/** Removes a request from the table; its attempts must have ended. */
+const removeRequest = (forwarding: Forwarding, { state }: RequestsContext): void => {
+  state.table.delete(forwarding.request.key);
+};
+
+const countOutcome = (forwarding: Forwarding, outcome: string): GatewayEffect => ({
+  kind: 'count',
+  name: 'gateway_requests_total',
+  labels: { route: forwarding.route.name, outcome },
+});
+
+/**
+ * Ends a request with a failure of this daemon.
+ *
+ * @param forwarding - request without running attempts
+ * @param failure - verdict and reason
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const refuseRequest = (
+  forwarding: Forwarding,
+  failure: Failure,
+  context: RequestsContext,
+): Effects => {
+  const now = context.inputs.clock.now();
+  const { request, route } = forwarding;
+  const isUnrun = failure.verdict === 'not-run';
+  const retryAfterMs = computeRetryAfter(forwarding.deadlineAt - now);
+  removeRequest(forwarding, context);
+  return [
+    { kind: 'refuse', key: request.key, failure: isUnrun ? { ...failure, retryAfterMs } : failure },
+    countOutcome(forwarding, failure.code),
+    {
+      kind: 'log',
+      name: 'request-failed',
+      details: {
+        requestId: request.id,
+        entity: route.name,
+        data: {
+          code: failure.code,
+          verdict: failure.verdict,
+          reason: failure.message,
+          ...describeTimes(forwarding, now),
+        },
+      },
+    },
+  ];
+};
+
+/**
+ * Ends a request whose answer cannot be completed: with a failure while nothing was shown, else by
+ * breaking off the connection, so that the answer does not look complete.
+ *
+ * @param forwarding - request without running attempts
+ * @param reason - sentence for the log and the caller
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const failRequest = (
+  forwarding: Forwarding,
+  reason: string,
+  context: RequestsContext,
+): Effects => {
+  const { request, route, verdict, kept } = forwarding;
+  if (forwarding.shown === 'nothing') {
+    if (kept !== null) return sendKept(forwarding, kept, context);
+    const code = verdict === 'not-run' ? 'no-endpoint' : 'endpoint-lost';
+    return refuseRequest(forwarding, createFailure(verdict, code, reason), context);
+  }
+  const now = context.inputs.clock.now();
+  removeRequest(forwarding, context);
+  return [
+    { kind: 'break-answer', key: request.key },
+    countOutcome(forwarding, 'stream-lost'),
+    {
+      kind: 'log',
+      name: 'request-failed',
+      details: {
+        requestId: request.id,
+        entity: route.name,
+        data: { code: 'stream-lost', verdict: 'ran', reason, ...describeTimes(forwarding, now) },
+      },
+    },
+  ];
+};
+
+const describeFinish = (
+  forwarding: Forwarding,
+  status: number,
+  now: Millis,
+): readonly GatewayEffect[] => [
+  countOutcome(forwarding, `status-${status.toString()}`),
+  {
+    kind: 'record-latency',
+    name: 'gateway_answer_ms',
+    route: forwarding.route.name,
+    duration: now - forwarding.request.receivedAt,
+  },
+  {
+    kind: 'log',
+    name: 'request-finished',
+    details: {
+      requestId: forwarding.request.id,
+      entity: forwarding.route.name,
+      data: { status, ...describeTimes(forwarding, now) },
+    },
+  },
+];
+
+/**
+ * Answers with an endpoint's whole answer.
+ *
+ * @param forwarding - request without running attempts
+ * @param answer - head and body
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const sendKept = (
+  forwarding: Forwarding,
+  { head, body }: KeptAnswer,
+  context: RequestsContext,
+): Effects => {
+  removeRequest(forwarding, context);
+  return [
+    { kind: 'send-whole', key: forwarding.request.key, head, body },
+    ...describeFinish(forwarding, head.status, context.inputs.clock.now()),
+  ];
+};
+
+/**
+ * Ends a stream whose last event was passed on.
+ *
+ * @param forwarding - request without running attempts
+ * @param attempt - attempt that ended
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const finishStream = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  removeRequest(forwarding, context);
+  return [
+    { kind: 'end-answer', key: forwarding.request.key },
+    ...describeFinish(forwarding, attempt.head?.status ?? 0, context.inputs.clock.now()),
+  ];
+};
--- /dev/null
+++ b/packages/gateway/requests/requests.ts
@@ -0,0 +1,220 @@
+import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
+import { cancelAttempts, computeSilence, placeRequest } from './attempts.js';
+import { MAX_REQUESTS } from './constants.js';
+import { endAttempt, expireRequest, getBudget, hedgeRequest } from './retrying.js';
+import type { Attempt, Effects, Forwarding, RequestsContext, RequestsInputs, RequestsState } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { ChildLogic } from '../../core/supervision/types.js';
+import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
+import { checkCrashes } from '../../decisions/forwarding/crashSuspicion.js';
+import { countRequest } from '../../decisions/forwarding/retryBudget.js';
+import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
+import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
+import type { GatewayEffect, RequestsEvent } from '../events.js';
+
+const refuseArrival = (request: ForwardRequest, failure: Failure): Effects => [
+  { kind: 'refuse', key: request.key, failure },
+  { kind: 'count', name: 'gateway_requests_total', labels: { route: '', outcome: failure.code } },
+  {
+    kind: 'log',
+    name: 'request-failed',
+    details: {
+      requestId: request.id,
+      data: { code: failure.code, verdict: failure.verdict, reason: failure.message },
+    },
+  },
+];
+
+const RETRY_SOON_MS = 300;
+
+const refuseUnready = (request: ForwardRequest, message: string): Effects =>
+  refuseArrival(request, createFailure('not-run', 'no-endpoint', message, RETRY_SOON_MS));
+
+const findTarget = (route: Route, inputs: RequestsInputs): Service | null => {
+  const name = chooseService(route, inputs.random);
+  return name === null ? null : (inputs.getTable()?.services.get(name) ?? null);
+};
+
+const createForwarding = (
+  request: ForwardRequest,
+  route: Route,
+  service: Service,
+  customer: Forwarding['customer'],
+): Forwarding => ({
+  request,
+  route,
+  service,
+  customer,
+  deadlineAt: request.receivedAt + Math.min(route.timeoutMs, request.patienceMs ?? Infinity),
+  attempts: new Map(),
+  tried: new Set(),
+  attemptsMade: 0,
+  ran: 0,
+  unrun: 0,
+  verdict: 'not-run',
+  shown: 'nothing',
+  lastEventId: request.lastEventId,
+  kept: null,
+  firstEventAt: null,
+  longestGapMs: 0,
+  lastShownAt: request.receivedAt,
+});
+
+const admitRequest = (request: ForwardRequest, context: RequestsContext): Effects => {
+  const { inputs, state } = context;
+  const table = inputs.getTable();
+  if (table === null) return refuseUnready(request, 'no configuration was read yet');
+  const found = findRoute(table, request);
+  switch (found.kind) {
+    case 'no-route':
+      return refuseArrival(request, createFailure('not-run', 'unknown-service', 'no route matches'));
+    case 'unknown-key':
+      return refuseArrival(request, createFailure('not-run', 'unauthorized', 'the key is unknown'));
+    case 'routed':
+      break;
+    default:
+      return assertNever(found);
+  }
+  const { customer, route } = found;
+  const service = findTarget(route, inputs);
+  if (service === null) return refuseUnready(request, 'the route has no service');
+  if (state.table.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
+  const now = inputs.clock.now();
+  if (
+    inputs.crashes.size > 0 &&
+    checkCrashes(inputs.crashes, inputs.hashContent(request), now) === 'refuse'
+  ) {
+    return refuseUnready(request, 'the request crashed several endpoints');
+  }
+  const forwarding = createForwarding(request, route, service, customer);
+  state.table.set(request.key, forwarding);
+  countRequest(getBudget(forwarding, context), inputs.budget, now);
+  return [
+    {
+      kind: 'schedule',
+      delayMs: forwarding.deadlineAt - now,
+      event: { to: 'requests', kind: 'deadline-reached', key: request.key },
+    },
+    ...placeRequest(forwarding, 'first', context),
+  ];
+};
+
+const cancelRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
+  const { request, route } = forwarding;
+  const { clock } = context.inputs;
+  context.state.table.delete(request.key);
+  return [
+    ...cancelAttempts(forwarding, context.state),
+    {
+      kind: 'count',
+      name: 'gateway_requests_total',
+      labels: { route: route.name, outcome: 'cancelled' },
+    },
+    {
+      kind: 'log',
+      name: 'request-cancelled',
+      details: {
+        requestId: request.id,
+        entity: route.name,
+        data: {
+          afterMs: Math.round(clock.now() - request.receivedAt),
+          attempts: forwarding.attemptsMade,
+          lastEventId: forwarding.lastEventId ?? '',
+        },
+      },
+    },
+  ];
+};
+
+const checkSilence = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const { key } = forwarding.request;
+  const silenceMs = computeSilence(forwarding);
+  const silentForMs = context.inputs.clock.now() - attempt.lastEventAt;
+  const canGoOn = attempt.backup !== null || forwarding.route.resume === 'resumable';
+  // Before its first event a request may wait for its turn at the endpoint.
+  if (silentForMs < silenceMs || !canGoOn || forwarding.shown === 'nothing') {
+    const delayMs = silentForMs < silenceMs ? silenceMs - silentForMs : silenceMs;
+    const event = { to: 'requests', kind: 'silence-due', key, attempt: attempt.number } as const;
+    return [{ kind: 'schedule', delayMs, event }];
+  }
+  const message = `no event for ${Math.round(silentForMs).toString()} ms`;
+  return [
+    { kind: 'cancel-attempt', key, attempt: attempt.number },
+    ...endAttempt(forwarding, attempt, { kind: 'silent', message }, context),
+  ];
+};
+
+const handleAttemptEvent = (
+  event: Extract<RequestsEvent, { attempt: number }>,
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  switch (event.kind) {
+    case 'attempt-sent':
+      if (attempt.phase === 'connecting') attempt.phase = 'sent';
+      return [];
+    case 'answer-started':
+      return startAnswer(forwarding, attempt, event.head, context);
+    case 'answer-continued':
+      return continueAnswer(forwarding, attempt, event.bytes, context);
+    case 'answer-ended':
+      return finishAnswer(forwarding, attempt, context);
+    case 'attempt-failed':
+      return endAttempt(forwarding, attempt, event.failure, context);
+    case 'hedge-due':
+      return attempt.phase === 'answering' ? [] : hedgeRequest(forwarding, context);
+    case 'silence-due':
+      return checkSilence(forwarding, attempt, context);
+    default:
+      return assertNever(event);
+  }
+};
+
+const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
+  if (event.kind === 'request-arrived') return admitRequest(event.request, context);
+  const forwarding = context.state.table.get(event.key);
+  if (forwarding === undefined) return [];
+  switch (event.kind) {
+    case 'caller-gone':
+      return cancelRequest(forwarding, context);
+    case 'deadline-reached':
+      return expireRequest(forwarding, context);
+    case 'placement-due':
+      return forwarding.attempts.size > 0 ? [] : placeRequest(forwarding, 'first', context);
+    case 'attempt-sent':
+    case 'answer-started':
+    case 'answer-continued':
+    case 'answer-ended':
+    case 'attempt-failed':
+    case 'hedge-due':
+    case 'silence-due': {
+      const attempt = forwarding.attempts.get(event.attempt);
+      return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
+    }
+    default:
+      return assertNever(event);
+  }
+};
+
+/**
+ * Creates the child that owns the requests in progress. When it is restarted, every request that it
+ * held fails, since nothing else knows them.
+ *
+ * @param inputs - what it reads of the rest of the daemon
+ * @returns the decisions of the child
+ */
+export const createRequestsLogic = (
+  inputs: RequestsInputs,
+): ChildLogic<RequestsState, RequestsEvent, GatewayEffect> => ({
+  init: () => ({
+    state: { table: new Map(), budgets: new Map(), load: new Map(), coldSends: new Map() },
+    effects: [{ kind: 'reset-requests' }],
+  }),
+  decide: (state, event) => ({ state, effects: decideEvent(event, { state, inputs }) }),
+});
--- /dev/null
+++ b/packages/gateway/requests/retrying.ts
@@ -0,0 +1,232 @@
+import { cancelAttempts, closeAttempt, continueAtBackup, placeRequest } from './attempts.js';
+import { MAX_UNRUN_ATTEMPTS } from './constants.js';
+import { failRequest } from './outcomes.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { AttemptSign } from '../../decisions/forwarding/endpointHealth.js';
+import { createBudgetWindow, takeRepeat } from '../../decisions/forwarding/retryBudget.js';
+import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
+import type { AttemptFailure, GatewayEffect } from '../events.js';
+
+/** How an attempt ended, without an answer for the caller. */
+export type AttemptEnd =
+  | AttemptFailure
+  /** The endpoint states that it did not run the request. */
+  | { readonly kind: 'refused'; readonly message: string }
+  /** The endpoint's own failure; it is kept for the caller. */
+  | { readonly kind: 'failed-answer'; readonly message: string }
+  /** No event came for too long. */
+  | { readonly kind: 'silent'; readonly message: string };
+
+/**
+ * Gets the window of a service's retry budget.
+ *
+ * @param forwarding - request of the service
+ * @param context - state and inputs
+ * @returns the window
+ */
+export const getBudget = (
+  { service }: Forwarding,
+  { state }: RequestsContext,
+): BudgetWindow => {
+  const known = state.budgets.get(service.name);
+  if (known !== undefined) return known;
+  const window = createBudgetWindow();
+  state.budgets.set(service.name, window);
+  return window;
+};
+
+const takeBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
+  const { budget, clock, countDaemons } = context.inputs;
+  return takeRepeat(getBudget(forwarding, context), budget, countDaemons(), clock.now());
+};
+
+const toSign = (end: AttemptEnd): AttemptSign => {
+  switch (end.kind) {
+    case 'unreachable':
+      return { kind: 'unreachable' };
+    case 'refused':
+      return { kind: 'full' };
+    case 'broken':
+    case 'garbled':
+    case 'failed-answer':
+    case 'silent':
+      return { kind: 'failed' };
+    default:
+      return assertNever(end);
+  }
+};
+
+/** Whether the endpoint cannot have run the request. */
+const isUnrun = (end: AttemptEnd, attempt: Attempt): boolean => {
+  switch (end.kind) {
+    case 'unreachable':
+    case 'refused':
+      return true;
+    case 'broken':
+      return attempt.phase === 'connecting';
+    case 'garbled':
+    case 'failed-answer':
+    case 'silent':
+      return false;
+    default:
+      return assertNever(end);
+  }
+};
+
+const describeEnd = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  end: AttemptEnd,
+  { inputs }: RequestsContext,
+): readonly GatewayEffect[] => [
+  {
+    kind: 'post',
+    event: {
+      to: 'membership',
+      kind: 'attempt-observed',
+      endpoint: attempt.endpoint.id,
+      sign: toSign(end),
+    },
+  },
+  {
+    kind: 'count',
+    name: 'gateway_attempt_failures_total',
+    labels: { route: forwarding.route.name, reason: end.kind },
+  },
+  {
+    kind: 'log',
+    name: 'attempt-ended',
+    details: {
+      requestId: forwarding.request.id,
+      endpoint: attempt.endpoint.id,
+      entity: forwarding.route.name,
+      data: {
+        attempt: attempt.number,
+        purpose: attempt.purpose,
+        reason: end.kind,
+        message: end.message,
+        phase: attempt.phase,
+        afterMs: Math.round(inputs.clock.now() - attempt.startedAt),
+        lastEventId: forwarding.lastEventId ?? '',
+      },
+    },
+  },
+];
+
+const canRepeat = ({ route, shown }: Forwarding): boolean =>
+  route.resume === 'resumable' || (route.repeat === 'idempotent' && shown === 'nothing');
+
+const repeatAfterRun = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  end: AttemptEnd,
+  context: RequestsContext,
+): Effects => {
+  const { route } = forwarding;
+  if (attempt.backup !== null && takeBudget(forwarding, context) === 'taken') {
+    const continued = continueAtBackup(forwarding, attempt.backup, context);
+    if (continued !== null) return continued;
+  }
+  const hasAttempts = forwarding.ran < route.maxEndpoints;
+  if (!canRepeat(forwarding) || !hasAttempts) return failRequest(forwarding, end.message, context);
+  if (takeBudget(forwarding, context) === 'spent') {
+    return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
+  }
+  return placeRequest(forwarding, 'retry', context);
+};
+
+const repeatUnrun = (
+  forwarding: Forwarding,
+  end: AttemptEnd,
+  context: RequestsContext,
+): Effects => {
+  forwarding.unrun += 1;
+  if (forwarding.unrun >= MAX_UNRUN_ATTEMPTS) return failRequest(forwarding, end.message, context);
+  // A request that never left this daemon is no repeat for the endpoints.
+  const isBudgeted = end.kind === 'refused';
+  if (isBudgeted && takeBudget(forwarding, context) === 'spent') {
+    return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
+  }
+  return placeRequest(forwarding, 'retry', context);
+};
+
+const recordSuspicion = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  end: AttemptEnd,
+  { inputs }: RequestsContext,
+): void => {
+  if (end.kind !== 'broken' || attempt.phase === 'connecting') return;
+  inputs.addOwnCrash(inputs.hashContent(forwarding.request), attempt.endpoint.id);
+};
+
+/**
+ * Decides what follows an attempt that gave no answer: another attempt, or the end of the request.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that ended
+ * @param end - how it ended
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const endAttempt = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  end: AttemptEnd,
+  context: RequestsContext,
+): Effects => {
+  const unrun = isUnrun(end, attempt);
+  closeAttempt(forwarding, attempt, context.state);
+  if (!unrun) {
+    forwarding.ran += 1;
+    forwarding.verdict = 'may-have-run';
+  }
+  recordSuspicion(forwarding, attempt, end, context);
+  const described = describeEnd(forwarding, attempt, end, context);
+  // The answer of the other attempt is still to come.
+  if (forwarding.attempts.size > 0) return described;
+  const next = unrun
+    ? repeatUnrun(forwarding, end, context)
+    : repeatAfterRun(forwarding, attempt, end, context);
+  return [...described, ...next];
+};
+
+/**
+ * Sends an idempotent request to a second endpoint while the first has not answered.
+ *
+ * @param forwarding - request with one running attempt
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const hedgeRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
+  const running = forwarding.ran + forwarding.attempts.size;
+  if (running >= forwarding.route.maxEndpoints) return [];
+  if (takeBudget(forwarding, context) === 'spent') return [];
+  return placeRequest(forwarding, 'hedge', context);
+};
+
+/**
+ * Ends a request whose time is over.
+ *
+ * @param forwarding - request
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const expireRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
+  const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
+  if (isSent) forwarding.verdict = 'may-have-run';
+  const signs = [...forwarding.attempts.values()].map(
+    ({ endpoint }): GatewayEffect => ({
+      kind: 'post',
+      event: {
+        to: 'membership',
+        kind: 'attempt-observed',
+        endpoint: endpoint.id,
+        sign: { kind: 'failed' },
+      },
+    }),
+  );
+  const cancelled = cancelAttempts(forwarding, context.state);
+  return [...signs, ...cancelled, ...failRequest(forwarding, 'the time for the answer is over', context)];
+};
--- /dev/null
+++ b/packages/gateway/requests/types.ts
@@ -0,0 +1,102 @@
+import type { GatewayEffect } from '../events.js';
+import type { AnswerHead } from '../types.js';
+import type { Clock, Millis } from '../../core/clock.js';
+import type { EndpointId } from '../../core/ids.js';
+import type { RandomSource } from '../../core/random.js';
+import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
+import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
+import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeForward.js';
+import type { BudgetRule, BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
+import type { RoutingTable } from '../../decisions/forwarding/routing.js';
+import type {
+  Customer,
+  EndpointRecord,
+  ForwardRequest,
+  Route,
+  Service,
+  ServiceName,
+} from '../../decisions/forwarding/types.js';
+
+/** Why an attempt was made. */
+export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'continuation';
+
+/** How far an attempt has come; before `sent` the endpoint cannot have run the request. */
+export type AttemptPhase = 'connecting' | 'sent' | 'answering';
+
+/** One attempt at one endpoint; updated in place by the requests child alone. */
+export interface Attempt {
+  readonly number: number;
+  readonly endpoint: EndpointRecord;
+  readonly purpose: AttemptPurpose;
+  readonly startedAt: Millis;
+  /** Endpoint that keeps a copy of the generation. */
+  readonly backup: EndpointRecord | null;
+  /** Memory that the generation is expected to take. */
+  readonly tokens: number;
+  phase: AttemptPhase;
+  head: AnswerHead | null;
+  readonly chunks: Uint8Array[];
+  bytes: number;
+  splitter: SplitterState;
+  lastEventAt: Millis;
+}
+
+/** Answer of an endpoint that is kept while another attempt runs. */
+export interface KeptAnswer {
+  readonly head: AnswerHead;
+  readonly body: Uint8Array;
+}
+
+/** One request in progress; updated in place by the requests child alone. */
+export interface Forwarding {
+  readonly request: ForwardRequest;
+  readonly route: Route;
+  readonly service: Service;
+  readonly customer: Customer | null;
+  readonly deadlineAt: Millis;
+  readonly attempts: Map<number, Attempt>;
+  readonly tried: Set<EndpointId>;
+  attemptsMade: number;
+  /** Attempts that may have run. */
+  ran: number;
+  /** Attempts that ended without running. */
+  unrun: number;
+  verdict: 'not-run' | 'may-have-run';
+  shown: 'nothing' | 'events';
+  lastEventId: string | null;
+  kept: KeptAnswer | null;
+  firstEventAt: Millis | null;
+  longestGapMs: Millis;
+  lastShownAt: Millis;
+}
+
+export interface RequestsState {
+  readonly table: Map<number, Forwarding>;
+  readonly budgets: Map<ServiceName, BudgetWindow>;
+  /** Work of this daemon by endpoint. */
+  readonly load: Map<EndpointId, EndpointLoad>;
+  /** Instants of the newest requests to each cold endpoint. */
+  readonly coldSends: Map<EndpointId, readonly Millis[]>;
+}
+
+/** What the decisions on requests read of the rest of the daemon. */
+export interface RequestsInputs {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly getTable: () => RoutingTable | null;
+  readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
+  readonly countDaemons: () => number;
+  readonly budget: BudgetRule;
+  readonly coldOvershoot: number;
+  readonly crashes: CrashTable;
+  readonly addOwnCrash: (fingerprint: string, endpoint: string) => void;
+  readonly hashContent: (request: ForwardRequest) => string;
+}
+
+/** State and inputs of one decision on requests. */
+export interface RequestsContext {
+  readonly state: RequestsState;
+  readonly inputs: RequestsInputs;
+}
+
+export type Effects = readonly GatewayEffect[];
--- /dev/null
+++ b/packages/gateway/supervisor.ts
@@ -0,0 +1,114 @@
+import type { ConfigurationState } from './configuration/configuration.js';
+import type {
+  ConfigurationEvent,
+  FeedsEvent,
+  FrontendEvent,
+  GatewayEffect,
+  GatewayEvent,
+  MembershipEvent,
+  MovesEvent,
+  PeersEvent,
+  RequestsEvent,
+} from './events.js';
+import type { FeedsState } from './feeds/feeds.js';
+import type { GateState } from './frontend/gate.js';
+import type { MembershipState } from './membership/membership.js';
+import type { MovesState } from './moves/moves.js';
+import type { PeersState } from './peers/peers.js';
+import type { RequestsState } from './requests/types.js';
+import { buildRoutedChild } from '../core/supervision/routedChild.js';
+import type { ChildLogic, SupervisorSpec } from '../core/supervision/types.js';
+
+/** Read-only views of the children's states, published after each of their steps. */
+export interface GatewayStates {
+  configuration: ConfigurationState;
+  membership: MembershipState;
+  peers: PeersState;
+  moves: MovesState;
+  requests: RequestsState;
+  feeds: FeedsState;
+  frontend: GateState;
+}
+
+/** Decisions of each child. */
+export interface GatewayLogics {
+  readonly configuration: ChildLogic<ConfigurationState, ConfigurationEvent, GatewayEffect>;
+  readonly membership: ChildLogic<MembershipState, MembershipEvent, GatewayEffect>;
+  readonly peers: ChildLogic<PeersState, PeersEvent, GatewayEffect>;
+  readonly moves: ChildLogic<MovesState, MovesEvent, GatewayEffect>;
+  readonly requests: ChildLogic<RequestsState, RequestsEvent, GatewayEffect>;
+  readonly feeds: ChildLogic<FeedsState, FeedsEvent, GatewayEffect>;
+  readonly frontend: ChildLogic<GateState, FrontendEvent, GatewayEffect>;
+}
+
+/**
+ * Describes the root supervisor of a gateway daemon. A failed child that the feeds fill takes the
+ * feeds with it, so that they load everything again; the requests keep their own restart.
+ *
+ * @param logics - decisions of the children
+ * @param states - receives each new state
+ * @returns the supervisor's specification
+ */
+export const createGatewaySupervisor = (
+  logics: GatewayLogics,
+  states: GatewayStates,
+): SupervisorSpec<GatewayEvent, GatewayEffect> => ({
+  name: 'gateway',
+  strategy: 'rest-for-one',
+  intensity: { restarts: 5, withinMs: 60_000 },
+  children: [
+    buildRoutedChild<GatewayEvent, 'requests', RequestsState, GatewayEffect>('requests', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.requests,
+      publish: (state) => {
+        states.requests = state;
+      },
+    }),
+    buildRoutedChild<GatewayEvent, 'peers', PeersState, GatewayEffect>('peers', {
+      rebuildsFrom: 'peers',
+      createLogic: () => logics.peers,
+      publish: (state) => {
+        states.peers = state;
+      },
+    }),
+    buildRoutedChild<GatewayEvent, 'configuration', ConfigurationState, GatewayEffect>(
+      'configuration',
+      {
+        rebuildsFrom: 'log',
+        createLogic: () => logics.configuration,
+        publish: (state) => {
+          states.configuration = state;
+        },
+      },
+    ),
+    buildRoutedChild<GatewayEvent, 'membership', MembershipState, GatewayEffect>('membership', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.membership,
+      publish: (state) => {
+        states.membership = state;
+      },
+    }),
+    buildRoutedChild<GatewayEvent, 'moves', MovesState, GatewayEffect>('moves', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.moves,
+      publish: (state) => {
+        states.moves = state;
+      },
+    }),
+    buildRoutedChild<GatewayEvent, 'feeds', FeedsState, GatewayEffect>('feeds', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.feeds,
+      publish: (state) => {
+        states.feeds = state;
+      },
+    }),
+    buildRoutedChild<GatewayEvent, 'frontend', GateState, GatewayEffect>('frontend', {
+      rebuildsFrom: 'nothing',
+      createLogic: () => logics.frontend,
+      publish: (state) => {
+        states.frontend = state;
+      },
+    }),
+  ],
+  route: (event) => event.to,
+});
--- /dev/null
+++ b/packages/gateway/types.ts
@@ -0,0 +1,128 @@
+import type { Millis } from '../core/clock.js';
+import type { CustomerId, DataCentreId, EndpointId } from '../core/ids.js';
+import type { BudgetRule } from '../decisions/forwarding/retryBudget.js';
+import type {
+  EndpointAddress,
+  EndpointRecord,
+  ForwardingConfiguration,
+  ForwardRequest,
+  GenerationDemand,
+  ServiceName,
+} from '../decisions/forwarding/types.js';
+
+/** Settings of one gateway daemon. */
+export interface GatewaySettings {
+  readonly process: string;
+  readonly dataCentre: DataCentreId;
+  /** Address on which callers connect. */
+  readonly callers: EndpointAddress;
+  /** Address on which the platform asks whether the daemon is ready. */
+  readonly readiness: EndpointAddress;
+  /** Address for datagrams of other gateway daemons. */
+  readonly peers: EndpointAddress;
+  /** Hosts of gateway daemons to begin with; some may be gone. */
+  readonly seeds: readonly string[];
+  readonly metrics: EndpointAddress;
+  readonly store: StoreSettings;
+  readonly budget: BudgetRule;
+  /** Time from the order to stop until the process is killed. */
+  readonly graceMs: Millis;
+  /** Factor and addend of the bound on requests to a cold endpoint. */
+  readonly coldOvershoot: number;
+  readonly coldSlack: number;
+}
+
+/** The platform's store as its client needs it. */
+export interface StoreSettings {
+  readonly address: EndpointAddress;
+  readonly timeoutMs: Millis;
+}
+
+/** The two streams of records that a gateway follows. */
+export type FeedName = 'operator' | 'registrations';
+
+/** Order to move a service's traffic to another version. */
+export interface MoveOrder {
+  readonly service: ServiceName;
+  readonly targetVersion: string;
+  readonly durationMs: Millis;
+  /** Position of the order, which tells two orders for one service apart. */
+  readonly offset: number;
+}
+
+/** One decoded record of a feed. */
+export type RecordChange =
+  | { readonly kind: 'configuration'; readonly configuration: ForwardingConfiguration }
+  | { readonly kind: 'data-centre-out'; readonly dataCentre: DataCentreId }
+  | { readonly kind: 'data-centre-in'; readonly dataCentre: DataCentreId }
+  | { readonly kind: 'move-ordered'; readonly order: MoveOrder }
+  | { readonly kind: 'move-withdrawn'; readonly service: ServiceName }
+  | { readonly kind: 'endpoint-registered'; readonly record: EndpointRecord }
+  | { readonly kind: 'endpoint-removed'; readonly id: EndpointId }
+  | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
+
+/** Result of reading a feed. */
+export type FeedResult =
+  | {
+      /** All current records; what is not among them does not exist. */
+      readonly kind: 'loaded';
+      readonly changes: readonly RecordChange[];
+      readonly position: number;
+    }
+  | { readonly kind: 'read'; readonly changes: readonly RecordChange[]; readonly position: number }
+  /** The records after the position are no longer kept. */
+  | { readonly kind: 'expired' }
+  | { readonly kind: 'failed'; readonly message: string };
+
+/** Access to the feeds; results come as completions. */
+export interface FeedReader {
+  readonly load: (feed: FeedName) => Promise<FeedResult>;
+  readonly read: (feed: FeedName, position: number, waitMs: Millis) => Promise<FeedResult>;
+  readonly close: () => void;
+}
+
+/** Head of an attempt, apart from what the caller's request already holds. */
+export interface AttemptHead {
+  readonly endpointId: EndpointId;
+  /** Time that is left for the answer. */
+  readonly leftMs: Millis;
+  readonly customer: CustomerId | null;
+  /** Urgency at the endpoint, 0 first; null for a service without engines. */
+  readonly rank: number | null;
+  /** Last event that the caller has; null to begin with the first one. */
+  readonly lastEventId: string | null;
+  /** Endpoint that is to keep a growing copy of the generation. */
+  readonly backup: EndpointAddress | null;
+  /** Endpoint that holds a copy to go on from. */
+  readonly copyAt: EndpointAddress | null;
+}
+
+/** Head of an endpoint's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Names and values in turn that the caller gets, without those of one connection. */
+  readonly headers: readonly string[];
+  /** Id of the request to which the endpoint says it belongs; null without one. */
+  readonly requestId: string | null;
+  readonly signature: 'signed' | 'unsigned';
+  /** Whether the endpoint states that it did not run the request. */
+  readonly proof: 'not-run' | 'none';
+  readonly encoding: 'plain' | 'encoded';
+}
+
+/** Head of a caller's request. */
+export type CallerHead = Omit<ForwardRequest, 'key' | 'body' | 'receivedAt'>;
+
+/** Translation of heads between the product and what callers and endpoints speak. */
+export interface HeadCodec {
+  readonly decodeCaller: (
+    method: string,
+    path: string,
+    rawHeaders: readonly string[],
+  ) => CallerHead;
+  readonly encodeAttempt: (request: ForwardRequest, head: AttemptHead) => readonly string[];
+  readonly decodeAnswer: (status: number, rawHeaders: readonly string[]) => AnswerHead;
+  readonly isReadinessPath: (path: string) => boolean;
+}
+
+export type { GenerationDemand };
--- /dev/null
+++ b/packages/gateway/wiring.ts
@@ -0,0 +1,237 @@
+import { createHash } from 'node:crypto';
+import { asFunction, asValue, createContainer } from 'awilix';
+import type { AwilixContainer } from 'awilix';
+import { classifyEvent } from './classify.js';
+import { createConfigurationLogic } from './configuration/configuration.js';
+import { createEndpointClient } from './endpoints/endpointClient.js';
+import type { EndpointClient } from './endpoints/endpointClient.js';
+import type { GatewayEffect, GatewayEvent } from './events.js';
+import { createFeedsLogic } from './feeds/feeds.js';
+import { createCallerServer } from './frontend/callerServer.js';
+import type { CallerServer } from './frontend/callerServer.js';
+import { createGateLogic } from './frontend/gate.js';
+import { createResponders } from './frontend/responders.js';
+import type { Responders } from './frontend/responders.js';
+import { listCandidates } from './membership/candidates.js';
+import { createMembershipLogic } from './membership/membership.js';
+import { createMovesLogic } from './moves/moves.js';
+import { createCrashReports } from './peers/crashReports.js';
+import type { CrashReports } from './peers/crashReports.js';
+import { countDaemons, createPeersLogic } from './peers/peers.js';
+import { createPeerSocket } from './peers/peerSocket.js';
+import type { PeerSocket } from './peers/peerSocket.js';
+import { performEffect } from './perform.js';
+import { createRequestsLogic } from './requests/requests.js';
+import { createGatewaySupervisor } from './supervisor.js';
+import type { GatewayLogics, GatewayStates } from './supervisor.js';
+import type { FeedReader, GatewaySettings, HeadCodec } from './types.js';
+import { createSystemClock } from '../core/clock.js';
+import type { Clock } from '../core/clock.js';
+import { createEventLog } from '../core/events/eventLog.js';
+import type { EventLog } from '../core/events/eventLog.js';
+import { createLineWriter } from '../core/events/lineWriter.js';
+import { createId } from '../core/ids.js';
+import { createDeferredMetrics } from '../core/metrics/deferredMetrics.js';
+import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
+import { createRandomSource } from '../core/random.js';
+import type { RandomSource } from '../core/random.js';
+import { createDaemon } from '../core/supervision/daemon.js';
+import type { Daemon } from '../core/supervision/daemon.js';
+import { startSupervisor } from '../core/supervision/supervisor.js';
+import type { ChildFailure } from '../core/supervision/types.js';
+import type { ForwardRequest } from '../decisions/forwarding/types.js';
+
+/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+export type EndReason =
+  | { readonly kind: 'drained'; readonly left: number }
+  | { readonly kind: 'fault'; readonly error: unknown };
+
+/** What a platform provides to a gateway daemon. */
+export interface GatewayPorts {
+  readonly codec: HeadCodec;
+  readonly feeds: FeedReader;
+}
+
+/** Everything that one gateway daemon is made of. */
+export interface GatewayCradle {
+  readonly settings: GatewaySettings;
+  readonly ports: GatewayPorts;
+  readonly onEnd: (reason: EndReason) => void;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly incarnation: string;
+  readonly states: GatewayStates;
+  readonly events: EventLog;
+  readonly metrics: DeferredMetrics;
+  readonly crashes: CrashReports;
+  readonly responders: Responders;
+  readonly callers: CallerServer;
+  readonly endpoints: EndpointClient;
+  readonly peers: PeerSocket;
+  readonly logics: GatewayLogics;
+  readonly daemon: Daemon<GatewayEvent>;
+}
+
+const HASH_ALGORITHM = 'sha256';
+const FINGERPRINT_DIGITS = 24;
+const SEED_RANGE = 2 ** 31;
+
+const hashContent = ({ body, credential, host, path }: ForwardRequest): string =>
+  createHash(HASH_ALGORITHM)
+    .update(`${host}\n${path}\n${credential ?? ''}\n`)
+    .update(body)
+    .digest('hex')
+    .slice(0, FINGERPRINT_DIGITS);
+
+const buildEvents = ({ settings, incarnation, clock }: GatewayCradle): EventLog =>
+  createEventLog({
+    process: settings.process,
+    role: 'entry',
+    incarnation,
+    clock,
+    write: createLineWriter(process.stdout, clock),
+  });
+
+const buildResponders = ({ events }: GatewayCradle): Responders =>
+  createResponders((error) => {
+    events.record('caller-unreadable', { data: { error: error.message } });
+  });
+
+const buildCallers = (cradle: GatewayCradle): CallerServer =>
+  createCallerServer({
+    codec: cradle.ports.codec,
+    clock: cradle.clock,
+    responders: cradle.responders,
+    postArrival: (request) =>
+      cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
+    postGone: (key) => {
+      cradle.responders.forget(key);
+      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', key });
+    },
+  });
+
+const buildEndpoints = (cradle: GatewayCradle): EndpointClient =>
+  createEndpointClient(cradle.ports.codec, (event) => {
+    cradle.daemon.loop.post(event);
+  });
+
+const buildPeers = (cradle: GatewayCradle): PeerSocket =>
+  createPeerSocket(
+    cradle.settings.peers,
+    (host, message) => {
+      cradle.daemon.loop.post({ to: 'peers', kind: 'peer-heard', host, message });
+    },
+    (error) => {
+      cradle.events.record('peer-unreachable', { data: { error: error.message } });
+    },
+  );
+
+const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
+  const { clock, crashes, random, settings, states } = cradle;
+  return {
+    requests: createRequestsLogic({
+      clock,
+      random,
+      getTable: () => states.configuration.table,
+      listEndpoints: (service) => listCandidates(service, states, clock.now()),
+      countDaemons: () => countDaemons(states.peers),
+      budget: settings.budget,
+      coldOvershoot: settings.coldOvershoot,
+      crashes: crashes.table,
+      addOwnCrash: crashes.addOwn,
+      hashContent,
+    }),
+    peers: createPeersLogic({
+      clock,
+      random,
+      process: settings.process,
+      ownHost: settings.peers.host,
+      seeds: settings.seeds,
+      listOwnLoad: () =>
+        [...states.requests.load].map(([id, { requests, tokens }]) => [id, requests, tokens]),
+      listCrashes: crashes.listSince,
+      addCrash: crashes.addHeard,
+    }),
+    configuration: createConfigurationLogic(),
+    membership: createMembershipLogic(clock),
+    moves: createMovesLogic(),
+    feeds: createFeedsLogic(clock),
+    frontend: createGateLogic({
+      clock,
+      graceMs: settings.graceMs,
+      countOpen: () => states.requests.table.size,
+    }),
+  };
+};
+
+const buildDaemon = (cradle: GatewayCradle): Daemon<GatewayEvent> => {
+  const { clock, events, metrics, ports, responders, states } = cradle;
+  const onFailure = ({ child, rebuildsFrom, error }: ChildFailure): void => {
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    events.record('child-failed', { data: { child, rebuildsFrom, error: text } });
+  };
+  const adapters = {
+    loop: () => daemon.loop,
+    events,
+    metrics,
+    responders,
+    callers: cradle.callers,
+    endpoints: cradle.endpoints,
+    peers: cradle.peers,
+    feeds: ports.feeds,
+    endProcess: (left: number) => {
+      cradle.onEnd({ kind: 'drained', left });
+    },
+  };
+  const spec = createGatewaySupervisor(cradle.logics, states);
+  const daemon = createDaemon<GatewayEvent, GatewayEffect>({
+    classify: classifyEvent,
+    startRoot: () => startSupervisor(spec, clock, onFailure),
+    perform: (effect) => {
+      performEffect(effect, adapters);
+    },
+    onFault: (error) => {
+      events.record('daemon-fault', { data: { error: String(error) } });
+      cradle.onEnd({ kind: 'fault', error });
+    },
+  });
+  return daemon;
+};
+
+/**
+ * Wires the parts of a gateway daemon.
+ *
+ * @param settings - checked settings
+ * @param ports - what the platform provides
+ * @param onEnd - called when the daemon wants its process to end
+ * @returns the container
+ */
+export const wireGateway = (
+  settings: GatewaySettings,
+  ports: GatewayPorts,
+  onEnd: (reason: EndReason) => void,
+): AwilixContainer<GatewayCradle> => {
+  const container = createContainer<GatewayCradle>({ injectionMode: 'PROXY', strict: true });
+  container.register({
+    settings: asValue(settings),
+    ports: asValue(ports),
+    onEnd: asValue(onEnd),
+    clock: asFunction(createSystemClock).singleton(),
+    random: asFunction(() =>
+      createRandomSource(Math.floor(Math.random() * SEED_RANGE)),
+    ).singleton(),
+    incarnation: asFunction(createId).singleton(),
+    // Each child publishes its state before anything reads it: they start in the declared order.
+    states: asValue({} as GatewayStates),
+    events: asFunction(buildEvents).singleton(),
+    metrics: asFunction(createDeferredMetrics).singleton(),
+    crashes: asFunction(({ clock }: GatewayCradle) => createCrashReports(clock)).singleton(),
+    responders: asFunction(buildResponders).singleton(),
+    callers: asFunction(buildCallers).singleton(),
+    endpoints: asFunction(buildEndpoints).singleton(),
+    peers: asFunction(buildPeers).singleton(),
+    logics: asFunction(buildLogics).singleton(),
+    daemon: asFunction(buildDaemon).singleton(),
+  });
+  return container;
+};
--- a/packages/platform/client/exchange.ts
+++ b/packages/platform/client/exchange.ts
@@ -1,7 +1,7 @@
+import { Agent, request as openRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
-import type { Dispatcher } from 'undici';
 import { MAX_ANSWER_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
@@ -23,6 +23,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly json?: unknown;
+  /** Body that is sent as it is. */
+  readonly bytes?: Uint8Array;
   /** Time that the service may hold its answer back, in addition to the timeout. */
   readonly waitMs?: Millis;
   readonly signal?: AbortSignal | undefined;
@@ -33,29 +35,6 @@
   readonly close: () => Promise<void>;
 }
 
-/** Errors that end a connection attempt; nothing was sent on it. */
-const CONNECT_ERRORS: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
-const collectCodes = (error: unknown): readonly string[] => {
-  if (error instanceof AggregateError) return error.errors.flatMap(collectCodes);
-  if (!(error instanceof Error)) return [];
-  const code = 'code' in error && typeof error.code === 'string' ? [error.code] : [];
-  return code;
-};
-
-const toExchangeError = (error: unknown): ExchangeError => {
-  const message = error instanceof Error ? error.message : String(error);
-  const codes = collectCodes(error);
-  const notSent = codes.length > 0 && codes.every((code) => CONNECT_ERRORS.includes(code));
-  return { kind: notSent ? 'not-sent' : 'lost', message };
-};
-
 /**
  * Reads a `retry-after` header.
  *
@@ -71,47 +50,92 @@
   return Number.isNaN(at) ? undefined : Math.max(0, at - now);
 };
 
-const readExchange = async (answer: Dispatcher.ResponseData): Promise<Exchange> => {
-  const header = answer.headers['retry-after'];
-  const text = Array.isArray(header) ? header[0] : header;
+const readExchange = async (answer: IncomingMessage): Promise<Exchange> => {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of answer as AsyncIterable<Uint8Array>) {
+    size += chunk.length;
+    if (size > MAX_ANSWER_BYTES) throw new Error('the answer is too large');
+    chunks.push(chunk);
+  }
   return {
-    status: answer.statusCode,
-    retryAfterMs: parseRetryAfter(text, Date.now()),
-    body: await answer.body.bytes(),
+    status: answer.statusCode ?? 0,
+    retryAfterMs: parseRetryAfter(answer.headers['retry-after'], Date.now()),
+    body: Buffer.concat(chunks),
   };
 };
 
-const buildSignal = (timeoutMs: Millis, signal: AbortSignal | undefined): AbortSignal => {
-  const timeout = AbortSignal.timeout(Math.ceil(timeoutMs));
-  return signal === undefined ? timeout : AbortSignal.any([timeout, signal]);
+interface Body {
+  readonly type: string;
+  readonly bytes: Uint8Array;
+}
+
+const encodeBody = ({ bytes, json }: ExchangeRequest): Body | null => {
+  if (bytes !== undefined) return { type: 'application/octet-stream', bytes };
+  if (json === undefined) return null;
+  return { type: 'application/json', bytes: Buffer.from(JSON.stringify(json)) };
 };
 
+const buildHeaders = (body: Body | null): Record<string, string> =>
+  body === null
+    ? {}
+    : { 'content-type': body.type, 'content-length': body.bytes.length.toString() };
+
 /**
- * Creates the connections to one service of the platform.
+ * Creates the connections to one service of the platform. A connection on which an answer is
+ * overdue is closed, since it may have fallen silent for good.
  *
  * @param options - root address and timeout
  * @returns a sender that never throws for a failure of the service or the network
  */
 export const createExchanger = (options: ClientOptions): Exchanger => {
-  const dispatcher = new Agent({
-    connect: { timeout: options.timeoutMs },
-    maxResponseSize: MAX_ANSWER_BYTES,
-  });
-  const send = async (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> => {
-    const { json, method, path, signal, waitMs = 0 } = outgoing;
-    try {
-      const answer = await request(`${options.baseUrl}${path}`, {
-        dispatcher,
+  const agent = new Agent({ keepAlive: true });
+  const root = new URL(options.baseUrl);
+
+  const exchange = (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> =>
+    new Promise((resolve) => {
+      const { method, path, signal, waitMs = 0 } = outgoing;
+      const body = encodeBody(outgoing);
+      let reached: 'nothing' | 'connection' = 'nothing';
+      const client = openRequest({
+        agent,
+        host: root.hostname,
+        port: root.port,
         method,
-        signal: buildSignal(options.timeoutMs + waitMs, signal),
-        ...(json === undefined
-          ? {}
-          : { body: JSON.stringify(json), headers: { 'content-type': 'application/json' } }),
+        path,
+        headers: buildHeaders(body),
+        ...(signal === undefined ? {} : { signal }),
+      });
+      const overdue = setTimeout(() => {
+        client.destroy(new Error('the answer is overdue'));
+      }, options.timeoutMs + waitMs);
+      const fail = (error: unknown): void => {
+        clearTimeout(overdue);
+        const message = error instanceof Error ? error.message : String(error);
+        resolve(Err({ kind: reached === 'nothing' ? 'not-sent' : 'lost', message }));
+      };
+      client.on('socket', (socket) => {
+        if (!socket.connecting) reached = 'connection';
+        else
+          socket.once('connect', () => {
+            reached = 'connection';
+          });
       });
-      return Ok(await readExchange(answer));
-    } catch (error) {
-      return Err(toExchangeError(error));
-    }
+      client.on('error', fail);
+      client.on('response', (answer) => {
+        readExchange(answer).then((read) => {
+          clearTimeout(overdue);
+          resolve(Ok(read));
+        }, fail);
+      });
+      client.end(body?.bytes);
+    });
+
+  return {
+    send: exchange,
+    close: () => {
+      agent.destroy();
+      return Promise.resolve();
+    },
   };
-  return { send, close: () => dispatcher.close() };
 };
