--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -49,8 +49,20 @@
 /** Cost of a prompt that waits to be read, against that of memory in use. */
 const WAITING_COST = 3;
 
-/** Share of an engine's memory above which copies for other engines are not placed there. */
-const BACKUP_MEMORY_SHARE = 0.85;
+/** Share of an engine's memory that copies of the shortest generations may fill. */
+const SHORT_BACKUP_SHARE = 0.6;
+
+/** What is added to that share for a generation of `LONG_OUTPUT_TOKENS`. */
+const LONG_BACKUP_SHARE = 0.32;
+
+/** Output from which a generation is long: it is worth most, and is most likely to need its copy. */
+const LONG_OUTPUT_TOKENS = 1_000;
+
+/** Share of an engine's memory up to which running generations are taken over. */
+const TRANSFER_SHARE = 1;
+
+const estimateOutput = (demand: GenerationDemand): number =>
+  Math.min(demand.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS, demand.maxOutputTokens);
 
 /**
  * Estimates the memory that a generation takes at its end.
@@ -58,10 +70,8 @@
  * @param demand - prompt and bound of the output
  * @returns tokens
  */
-export const estimateTokens = (demand: GenerationDemand): number => {
-  const expected = demand.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
-  return demand.promptTokens + Math.min(expected, demand.maxOutputTokens);
-};
+export const estimateTokens = (demand: GenerationDemand): number =>
+  demand.promptTokens + estimateOutput(demand);
 
 const isUsable = ({ record, health, coldRoom }: Candidate, question: PlacementQuestion): boolean =>
   record.service === question.service.name &&
@@ -147,10 +157,11 @@
   candidates: readonly Candidate[],
   question: PlacementQuestion,
   runner: EndpointRecord,
+  memoryShare: number,
 ): readonly Candidate[] => {
   const { demand, service } = question;
   if (service.engine === null || demand === null) return [];
-  const room = service.engine.memoryTokens * BACKUP_MEMORY_SHARE - estimateTokens(demand);
+  const room = service.engine.memoryTokens * memoryShare - demand.promptTokens;
   return candidates.filter(
     (candidate) =>
       isUsable(candidate, question) &&
@@ -159,6 +170,12 @@
   );
 };
 
+const computeBackupShare = ({ demand }: PlacementQuestion): number => {
+  if (demand === null) return 0;
+  const length = Math.min(1, estimateOutput(demand) / LONG_OUTPUT_TOKENS);
+  return SHORT_BACKUP_SHARE + LONG_BACKUP_SHARE * length;
+};
+
 /**
  * Chooses the endpoint that keeps a copy of a running generation: one with room, in another data
  * centre if possible, so that the loss of a data centre does not take both.
@@ -176,7 +193,7 @@
   random: RandomSource,
 ): Candidate | null => {
   if (question.service.engine?.backups !== 'supported') return null;
-  const withRoom = listWithRoom(candidates, question, runner);
+  const withRoom = listWithRoom(candidates, question, runner, computeBackupShare(question));
   const apart = withRoom.filter(({ record }) => record.dataCentre !== runner.dataCentre);
   return chooseLowest(apart.length > 0 ? apart : withRoom, question, random);
 };
@@ -198,7 +215,7 @@
   random: RandomSource,
 ): Candidate | null => {
   if (question.service.engine?.moves !== 'supported') return null;
-  const withRoom = listWithRoom(candidates, question, runner);
+  const withRoom = listWithRoom(candidates, question, runner, TRANSFER_SHARE);
   const near = withRoom.filter(({ record }) => record.dataCentre === runner.dataCentre);
   return chooseLowest(near.length > 0 ? near : withRoom, question, random);
 };
