--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -28,6 +28,15 @@
   readonly countBadCaller: (error: Error) => void;
 }
 
+/**
+ * Lets an answer end with its connection. The endpoint sent it that way, so nobody can tell
+ * whether it is complete, and a length of ours would claim that it is.
+ */
+const markUntilClose = (response: ServerResponse): void => {
+  response.shouldKeepAlive = false;
+  response.removeHeader('Transfer-Encoding');
+};
+
 interface OpenAnswer {
   readonly requestId: string;
   readonly response: ServerResponse;
@@ -57,8 +66,10 @@
     if (answer === undefined) return;
     const { response } = answer;
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
-    const length = hasBody ? ['Content-Length', body.length.toString()] : [];
+    const isFramed = hasBody && head.framing === 'framed';
+    const length = isFramed ? ['Content-Length', body.length.toString()] : [];
     response.sendDate = false;
+    if (hasBody && !isFramed) markUntilClose(response);
     response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
   };
@@ -103,6 +114,7 @@
       const response = open.get(key)?.response;
       if (response === undefined) return;
       response.sendDate = false;
+      if (head.framing === 'until-close') markUntilClose(response);
       response.writeHead(head.status, buildHeaders(head.headers));
     },
     writeAnswer: (key, bytes) => {
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -139,6 +139,8 @@
   /** Whether the endpoint states that it did not run the request. */
   readonly proof: 'not-run' | 'none';
   readonly encoding: 'plain' | 'encoded';
+  /** Whether the answer states its end, or ends with its connection. */
+  readonly framing: 'framed' | 'until-close';
 }
 
 /** Head of a caller's request. */
