Transfer generations one at a time from a leaving engine, over all daemons

Change: the daemons tell each other what they have at the engine and take turns; copies for crashes are made only while less than 76% of all engines' memory is in use.

--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -58,6 +58,9 @@
 /** Output from which a generation is long: it is worth most, and is most likely to need its copy. */
 const LONG_OUTPUT_TOKENS = 1_000;
 
+/** Share of all engines' memory in use above which no more copies are made. */
+const COPY_AVERAGE_SHARE = 0.76;
+
 /** Share of an engine's memory up to which running generations are taken over. */
 const TRANSFER_SHARE = 1;
 
@@ -170,6 +173,15 @@
   );
 };
 
+const computeMemoryShare = (
+  candidates: readonly Candidate[],
+  { service }: PlacementQuestion,
+): number => {
+  const memory = (service.engine?.memoryTokens ?? 0) * candidates.length;
+  const used = candidates.reduce((sum, { load }) => sum + load.tokens, 0);
+  return memory === 0 ? 1 : used / memory;
+};
+
 const computeBackupShare = ({ demand }: PlacementQuestion): number => {
   if (demand === null) return 0;
   const length = Math.min(1, estimateOutput(demand) / LONG_OUTPUT_TOKENS);
@@ -193,6 +205,7 @@
   random: RandomSource,
 ): Candidate | null => {
   if (question.service.engine?.backups !== 'supported') return null;
+  if (computeMemoryShare(candidates, question) > COPY_AVERAGE_SHARE) return null;
   const withRoom = listWithRoom(candidates, question, runner, computeBackupShare(question));
   const apart = withRoom.filter(({ record }) => record.dataCentre !== runner.dataCentre);
   return chooseLowest(apart.length > 0 ? apart : withRoom, question, random);
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -37,7 +37,8 @@
     case 'hedge-due':
     case 'silence-due':
     case 'endpoint-leaving':
-    case 'transfer-due':
+    case 'transfer-turn':
+    case 'report-changed':
     case 'drain-started':
     case 'drain-checked':
       return 'control';
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -60,6 +60,8 @@
 export type PeersEvent = { readonly to: 'peers' } & (
   | { readonly kind: 'peer-heard'; readonly host: string; readonly message: PeerMessage }
   | { readonly kind: 'report-due' }
+  /** Something changed that the other daemons wait for. */
+  | { readonly kind: 'report-changed' }
 );
 
 export type MovesEvent = { readonly to: 'moves' } & {
@@ -102,7 +104,7 @@
       readonly attempt: number;
       readonly result: TransferResult;
     }
-  | { readonly kind: 'transfer-due'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'transfer-turn'; readonly source: EndpointId }
   | { readonly kind: 'endpoint-leaving'; readonly endpoint: EndpointId }
 );
 
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -24,14 +24,14 @@
 
 const isMessage = (value: unknown): value is PeerMessage => {
   if (typeof value !== 'object' || value === null) return false;
-  const { copies, crashes, format, hosts, load, process } = value as Record<string, unknown>;
+  const { crashes, format, hosts, load, process, transfers } = value as Record<string, unknown>;
   return (
     format === 1 &&
     typeof process === 'string' &&
     Array.isArray(load) &&
     load.every(isRow) &&
-    Array.isArray(copies) &&
-    copies.every(isCount) &&
+    Array.isArray(transfers) &&
+    transfers.every(isCount) &&
     Array.isArray(hosts) &&
     hosts.every((host) => typeof host === 'string') &&
     Array.isArray(crashes) &&
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -34,7 +34,7 @@
   readonly seeds: readonly string[];
   /** Work of this daemon by endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
-  readonly listOwnCopies: () => PeerMessage['copies'];
+  readonly listOwnTransfers: () => PeerMessage['transfers'];
   /** Crashes that this daemon saw since an instant. */
   readonly listCrashes: (since: Millis) => readonly (readonly [string, string])[];
   /** Takes crashes that another daemon saw. */
@@ -62,21 +62,27 @@
 };
 
 /**
- * Counts the copies that peers have under way from an endpoint.
+ * Tells whether a daemon that goes first has generations to take from an endpoint. The order is
+ * that of the names, so that all daemons agree on it without a message.
  *
  * @param state - peers as they were last heard
- * @param source - endpoint that sends the copies
+ * @param source - endpoint that leaves
+ * @param process - name of this daemon
  * @param now - current instant; older reports do not count
- * @returns the number
+ * @returns whether this daemon has to wait
  */
-export const countPeerCopies = (state: PeersState, source: EndpointId, now: Millis): number => {
-  let sum = 0;
-  for (const { heardAt, message } of state.peers.values()) {
-    if (now - heardAt > PEER_LOAD_AGE_MS) continue;
-    for (const [endpoint, copies] of message.copies) sum += endpoint === source ? copies : 0;
-  }
-  return sum;
-};
+export const hasPeerBefore = (
+  state: PeersState,
+  source: EndpointId,
+  process: string,
+  now: Millis,
+): boolean =>
+  [...state.peers.values()].some(
+    ({ heardAt, message }) =>
+      now - heardAt <= PEER_LOAD_AGE_MS &&
+      message.process < process &&
+      message.transfers.some(([endpoint, generations]) => endpoint === source && generations > 0),
+  );
 
 /**
  * Counts the daemons that share a budget, this one included.
@@ -99,24 +105,29 @@
 const buildMessage = (state: PeersState, inputs: PeersInputs, now: Millis): PeerMessage => ({
   format: 1,
   process: inputs.process,
-  copies: inputs.listOwnCopies(),
+  transfers: inputs.listOwnTransfers(),
   load: inputs.listOwnLoad().slice(0, MAX_LOAD_ROWS),
   hosts: [...state.peers.values()].slice(0, MAX_NAMED_HOSTS).map(({ host }) => host),
   crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_NAMED_CRASHES),
 });
 
+const sendReport = (state: PeersState, inputs: PeersInputs): GatewayEffect => {
+  const now = inputs.clock.now();
+  const hosts = chooseTargets(state, inputs, now);
+  return { kind: 'send-peers', hosts, message: buildMessage(state, inputs, now) };
+};
+
 const report = (state: PeersState, inputs: PeersInputs) => {
   const now = inputs.clock.now();
   for (const [name, peer] of state.peers) {
     if (now - peer.heardAt > PEER_FORGET_MS) state.peers.delete(name);
   }
-  const hosts = chooseTargets(state, inputs, now);
   const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
   const next = isSeedTurn ? { ...state, seedsAskedAt: now } : state;
   return toStep<PeersState, GatewayEffect>(
     next,
     { kind: 'schedule', delayMs: REPORT_INTERVAL_MS, event: { to: 'peers', kind: 'report-due' } },
-    { kind: 'send-peers', hosts, message: buildMessage(state, inputs, now) },
+    sendReport(state, inputs),
   );
 };
 
@@ -167,6 +178,8 @@
     switch (event.kind) {
       case 'report-due':
         return report(state, inputs);
+      case 'report-changed':
+        return toStep<PeersState, GatewayEffect>(state, sendReport(state, inputs));
       case 'peer-heard':
         return receiveReport(state, event, inputs);
       default:
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -13,8 +13,8 @@
   readonly format: 1;
   readonly process: string;
   readonly load: readonly LoadRow[];
-  /** Copies under way: endpoint that sends them, and their number. */
-  readonly copies: readonly (readonly [source: string, copies: number])[];
+  /** Generations to be taken from endpoints that leave: endpoint and number. */
+  readonly transfers: readonly (readonly [source: string, generations: number])[];
   /** Hosts of other daemons that the sender hears. */
   readonly hosts: readonly string[];
   /** Requests whose endpoints crashed: fingerprint and endpoint. */
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -38,20 +38,20 @@
 /** Window of the bound of a cold endpoint. */
 export const COLD_WINDOW_MS = 1_000;
 
-/** Interval at which a complete copy asks whether the link of its source is free. */
-export const TRANSFER_CHECK_MS = 30;
+/** Time in which the daemons tell each other what they have at an endpoint that leaves. */
+export const TRANSFER_SETTLE_MS = 20;
 
-/**
- * Time after which a complete copy is used though other copies are under way; engines that are
- * reclaimed give as little as 1.5 s of notice.
- */
-export const TRANSFER_WAIT_MS = 1_150;
+/** Interval at which a daemon asks whether it is its turn. */
+export const TRANSFER_CHECK_MS = 10;
 
-/** Targets that are tried for one generation. */
-export const MAX_TRANSFER_TARGETS = 3;
+/** Time after which a daemon no longer waits for its turn, as others may have ended. */
+export const TRANSFER_TURN_MS = 1_000;
 
-/** Pause before an order is repeated to a source that does not run the generation just now. */
-export const TRANSFER_RETRY_MS = 120;
+/** Orders that are given for one generation. */
+export const MAX_TRANSFER_ORDERS = 6;
+
+/** Pause before an order is repeated. */
+export const TRANSFER_RETRY_MS = 100;
 
 /** Id from which a generation goes on when its caller has no event yet. */
 export const FIRST_EVENT_ID = '0';
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -51,7 +51,7 @@
     for (const attempt of forwarding.attempts.values()) {
       const load = computeAttemptLoad(forwarding, attempt);
       add(attempt.endpoint.id, load);
-      if (attempt.transfer !== null) {
+      if (attempt.transfer !== null && attempt.transfer.phase !== 'waiting') {
         add(attempt.transfer.target.id, { ...load, waitingTokens: 0 });
       }
       if (attempt.backup !== null) add(attempt.backup.id, { ...NO_LOAD, tokens: load.tokens });
@@ -61,20 +61,20 @@
 };
 
 /**
- * Counts the copies that this daemon has under way by their source, whose link they share.
+ * Counts the generations that this daemon is to take from endpoints that leave, by endpoint.
  *
  * @param state - requests in progress
  * @returns the numbers
  */
-export const countOwnCopies = (state: RequestsState): ReadonlyMap<EndpointId, number> => {
-  const copies = new Map<EndpointId, number>();
+export const countOwnTransfers = (state: RequestsState): ReadonlyMap<EndpointId, number> => {
+  const transfers = new Map<EndpointId, number>();
   for (const { attempts } of state.table.values()) {
     for (const { endpoint, transfer } of attempts.values()) {
-      if (transfer?.phase !== 'copying') continue;
-      copies.set(endpoint.id, (copies.get(endpoint.id) ?? 0) + 1);
+      if (transfer === null) continue;
+      transfers.set(endpoint.id, (transfers.get(endpoint.id) ?? 0) + 1);
     }
   }
-  return copies;
+  return transfers;
 };
 
 /**
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,7 +1,7 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
 import { cancelAttempts, computeSilence, placeRequest } from './attempts.js';
 import { MAX_REQUESTS } from './constants.js';
-import { checkStopped, checkTransfer, endTransferStep, leaveEndpoint } from './transfers.js';
+import { checkStopped, endTransferStep, leaveEndpoint, takeTurn } from './transfers.js';
 import { endAttempt, expireRequest, getBudget, hedgeRequest } from './retrying.js';
 import type {
   Attempt,
@@ -183,10 +183,8 @@
       return checkStopped(attempt) === 'wait'
         ? []
         : endAttempt(forwarding, attempt, event.failure, context);
-    case 'transfer-due':
-      return checkTransfer(forwarding, attempt, context);
     case 'transfer-ended':
-      return endTransferStep(forwarding, attempt, event.result, context);
+      return endTransferStep({ forwarding, attempt }, event.result, context);
     case 'hedge-due':
       return attempt.phase === 'answering' ? [] : hedgeRequest(forwarding, context);
     case 'silence-due':
@@ -198,6 +196,7 @@
 
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
   if (event.kind === 'request-arrived') return admitRequest(event.request, context);
+  if (event.kind === 'transfer-turn') return takeTurn(event.source, context);
   if (event.kind === 'endpoint-leaving') return leaveEndpoint(event.endpoint, context);
   const forwarding = context.state.table.get(event.key);
   if (forwarding === undefined) return [];
@@ -214,7 +213,6 @@
     case 'answer-ended':
     case 'attempt-failed':
     case 'transfer-ended':
-    case 'transfer-due':
     case 'hedge-due':
     case 'silence-due': {
       const attempt = forwarding.attempts.get(event.attempt);
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,42 +1,48 @@
 import { chooseTransferTarget, continueFromCopy } from './attempts.js';
 import {
-  MAX_TRANSFER_TARGETS,
+  MAX_TRANSFER_ORDERS,
   TRANSFER_CHECK_MS,
   TRANSFER_RETRY_MS,
-  TRANSFER_WAIT_MS,
+  TRANSFER_SETTLE_MS,
+  TRANSFER_TURN_MS,
 } from './constants.js';
-import { countOwnCopies } from './load.js';
 import { endAttempt } from './retrying.js';
-import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import type { Attempt, Effects, Forwarding, RequestsContext, Transfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
+import { estimateTokens } from '../../decisions/forwarding/placeForward.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyName, TransferOrder, TransferResult } from '../types.js';
 
+/** A generation with the attempt that runs it. */
+interface RunningGeneration {
+  readonly forwarding: Forwarding;
+  readonly attempt: Attempt;
+}
+
+const REPORT_NOW: GatewayEffect = { kind: 'post', event: { to: 'peers', kind: 'report-changed' } };
+
 const orderTransfer = (
-  forwarding: Forwarding,
-  attempt: Attempt,
+  { attempt, forwarding }: RunningGeneration,
+  target: EndpointRecord,
   mode: TransferOrder['mode'],
-): GatewayEffect[] => {
-  if (attempt.transfer === null) return [];
+): GatewayEffect => {
   const { request } = forwarding;
   const source = attempt.endpoint.address;
-  const target = attempt.transfer.target.address;
-  return [
-    {
-      kind: 'start-transfer',
-      key: request.key,
-      attempt: attempt.number,
-      order: { requestId: request.id, source, target, mode },
-    },
-  ];
+  return {
+    kind: 'start-transfer',
+    key: request.key,
+    attempt: attempt.number,
+    order: { requestId: request.id, source, target: target.address, mode },
+  };
 };
 
 const describeTransfer = (
-  forwarding: Forwarding,
-  attempt: Attempt,
+  { attempt, forwarding }: RunningGeneration,
   step: string,
+  target: EndpointRecord | null,
 ): GatewayEffect => ({
   kind: 'log',
   name: 'transfer-step',
@@ -47,81 +53,137 @@
     data: {
       attempt: attempt.number,
       step,
-      target: attempt.transfer?.target.id ?? '',
+      target: target?.id ?? '',
       lastEventId: forwarding.lastEventId ?? '',
     },
   },
 });
 
-const scheduleCheck = (
-  { request }: Forwarding,
-  attempt: Attempt,
-  delayMs: Millis,
-): GatewayEffect => ({
+const scheduleTurn = (source: EndpointId, delayMs: Millis): GatewayEffect => ({
   kind: 'schedule',
   delayMs,
-  event: { to: 'requests', kind: 'transfer-due', key: request.key, attempt: attempt.number },
+  event: { to: 'requests', kind: 'transfer-turn', source },
 });
 
+const listAt = (source: EndpointId, { state }: RequestsContext): readonly RunningGeneration[] =>
+  [...state.table.values()].flatMap((forwarding) =>
+    [...forwarding.attempts.values()]
+      .filter((attempt) => attempt.endpoint.id === source)
+      .map((attempt) => ({ forwarding, attempt })),
+  );
+
 const isUsableBackup = ({ backup }: Attempt, context: RequestsContext): boolean =>
   backup !== null &&
   context.inputs
     .listEndpoints(backup.service)
     .some(({ record }) => record.id === backup.id && record.phase === 'ready');
 
-const startCopy = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
-  const target =
-    attempt.refusedTargets.size < MAX_TRANSFER_TARGETS
-      ? chooseTransferTarget(forwarding, attempt, context)
-      : null;
-  if (target === null) {
-    attempt.transfer = null;
-    return [describeTransfer(forwarding, attempt, 'no-target')];
+const needsTransfer = ({ attempt, forwarding }: RunningGeneration, context: RequestsContext) =>
+  forwarding.route.answer === 'stream' &&
+  forwarding.route.resume === 'single-run' &&
+  attempt.transfer === null &&
+  // One with a usable copy goes on there when its endpoint ends.
+  !isUsableBackup(attempt, context);
+
+/**
+ * Begins to take the generations of an endpoint elsewhere. They go one after the other, over all
+ * daemons, since they share the link of the endpoint: a generation is stopped for a moment only
+ * when what it made since its copy does not wait behind the copies of others.
+ *
+ * @param source - endpoint that leaves
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const leaveEndpoint = (source: EndpointId, context: RequestsContext): Effects => {
+  const leaving = listAt(source, context).filter((run) => needsTransfer(run, context));
+  if (leaving.length === 0) return [];
+  const since = context.inputs.clock.now();
+  for (const { attempt } of leaving) {
+    attempt.transfer = { phase: 'waiting', since, orders: 0, dueAt: since };
   }
-  const startedAt = attempt.transfer?.startedAt ?? context.inputs.clock.now();
-  attempt.transfer = { target, phase: 'copying', startedAt };
   return [
-    ...orderTransfer(forwarding, attempt, 'copy'),
-    describeTransfer(forwarding, attempt, 'started'),
+    ...leaving.map((run) => describeTransfer(run, 'waiting', null)),
+    REPORT_NOW,
+    scheduleTurn(source, TRANSFER_SETTLE_MS),
   ];
 };
 
-/**
- * Begins to take a generation away from an endpoint that leaves. One with a usable copy needs no
- * transfer: it goes on there when its endpoint ends.
- */
-const startTransfer = (
-  forwarding: Forwarding,
-  attempt: Attempt,
+const isActive = ({ attempt }: RunningGeneration): boolean =>
+  attempt.transfer !== null && attempt.transfer.phase !== 'waiting';
+
+/** The largest generation goes first: it is worth most, and was longest in the making. */
+const compareWorth = (left: RunningGeneration, right: RunningGeneration): number => {
+  const measure = ({ forwarding }: RunningGeneration): number =>
+    forwarding.request.demand === null ? 0 : estimateTokens(forwarding.request.demand);
+  return measure(right) - measure(left);
+};
+
+const startCopy = (
+  run: RunningGeneration,
+  waiting: Extract<Transfer, { phase: 'waiting' }>,
   context: RequestsContext,
 ): Effects => {
-  const { route } = forwarding;
-  const isSingleRun = route.answer === 'stream' && route.resume === 'single-run';
-  if (!isSingleRun || attempt.transfer !== null || isUsableBackup(attempt, context)) return [];
-  return startCopy(forwarding, attempt, context);
+  const { attempt, forwarding } = run;
+  const target = chooseTransferTarget(forwarding, attempt, context);
+  if (target === null) {
+    attempt.transfer = null;
+    return [
+      describeTransfer(run, 'no-target', null),
+      REPORT_NOW,
+      scheduleTurn(attempt.endpoint.id, 0),
+    ];
+  }
+  attempt.transfer = {
+    phase: 'copying',
+    target,
+    since: waiting.since,
+    orders: waiting.orders + 1,
+  };
+  return [orderTransfer(run, target, 'copy'), describeTransfer(run, 'copying', target)];
 };
 
 /**
- * Begins to take the generations of an endpoint elsewhere.
+ * Starts the next copy from an endpoint that leaves, when it is this daemon's turn.
  *
- * @param endpoint - endpoint that leaves
+ * @param source - endpoint that leaves
  * @param context - state and inputs
  * @returns effects
  */
-export const leaveEndpoint = (endpoint: EndpointId, context: RequestsContext): Effects =>
-  [...context.state.table.values()].flatMap((forwarding) =>
-    [...forwarding.attempts.values()]
-      .filter((attempt) => attempt.endpoint.id === endpoint)
-      .flatMap((attempt) => startTransfer(forwarding, attempt, context)),
+export const takeTurn = (source: EndpointId, context: RequestsContext): Effects => {
+  const now = context.inputs.clock.now();
+  const runs = listAt(source, context);
+  if (runs.some(isActive)) return [];
+  const waiting = runs
+    .filter(({ attempt }) => attempt.transfer?.phase === 'waiting')
+    .sort(compareWorth);
+  const [first] = waiting;
+  if (first === undefined) return [];
+  const due = waiting.filter(
+    ({ attempt }) => attempt.transfer?.phase === 'waiting' && attempt.transfer.dueAt <= now,
   );
+  const [next] = due;
+  const since = first.attempt.transfer?.since ?? now;
+  const isLate = now - since > TRANSFER_TURN_MS;
+  if (next === undefined || (!isLate && context.inputs.hasPeerBefore(source))) {
+    return [scheduleTurn(source, TRANSFER_CHECK_MS)];
+  }
+  const { transfer } = next.attempt;
+  return transfer?.phase === 'waiting' ? startCopy(next, transfer, context) : [];
+};
+
+/** Ends a transfer, so that the next one from the same endpoint may begin. */
+const releaseTurn = ({ attempt }: RunningGeneration): Effects => {
+  attempt.transfer = null;
+  return [REPORT_NOW, scheduleTurn(attempt.endpoint.id, 0)];
+};
 
 const goOn = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  endpoint: Attempt['endpoint'],
+  run: RunningGeneration,
+  endpoint: EndpointRecord,
   copy: CopyName,
   context: RequestsContext,
 ): Effects => {
+  const { attempt, forwarding } = run;
   const { key } = forwarding.request;
   forwarding.attempts.delete(attempt.number);
   const continued = continueFromCopy(forwarding, endpoint, copy, context);
@@ -129,7 +191,6 @@
     return [{ kind: 'cancel-attempt', key, attempt: attempt.number }, ...continued];
   }
   forwarding.attempts.set(attempt.number, attempt);
-  attempt.transfer = null;
   const end = { kind: 'broken', message: 'the endpoint of the copy is gone' } as const;
   return [
     { kind: 'cancel-attempt', key, attempt: attempt.number },
@@ -137,118 +198,97 @@
   ];
 };
 
-const isLinkFree = ({ endpoint }: Attempt, { inputs, state }: RequestsContext): boolean =>
-  (countOwnCopies(state).get(endpoint.id) ?? 0) + inputs.countPeerCopies(endpoint.id) === 0;
-
-/**
- * Stops the source of a complete copy once no other copy uses its link. What the source made in
- * the meantime would else wait behind whole copies, and the caller with it.
- *
- * @param forwarding - request
- * @param attempt - attempt at the source
- * @param context - state and inputs
- * @returns effects
- */
-export const checkTransfer = (
-  forwarding: Forwarding,
-  attempt: Attempt,
+const handleCopied = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  handle: string,
   context: RequestsContext,
 ): Effects => {
-  const { transfer } = attempt;
-  if (transfer === null) return [];
+  const { attempt } = run;
+  const { target } = transfer;
   switch (transfer.phase) {
     case 'copying':
-      return orderTransfer(forwarding, attempt, 'copy');
-    case 'stopping':
-      return [];
-    case 'copied': {
-      const waitedMs = context.inputs.clock.now() - transfer.startedAt;
-      if (waitedMs < TRANSFER_WAIT_MS && !isLinkFree(attempt, context)) {
-        return [scheduleCheck(forwarding, attempt, TRANSFER_CHECK_MS)];
-      }
       attempt.transfer = { ...transfer, phase: 'stopping' };
-      return orderTransfer(forwarding, attempt, 'stop');
+      return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
+    case 'stopping': {
+      const copy = { address: attempt.endpoint.address, handle };
+      const described = describeTransfer(run, 'moved', target);
+      return [described, ...releaseTurn(run), ...goOn(run, target, copy, context)];
     }
     default:
       return assertNever(transfer.phase);
   }
 };
 
-const handleCopied = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  handle: string,
+/** Puts a generation back among those that wait, or gives its transfer up. */
+const repeatLater = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  reason: string,
   context: RequestsContext,
 ): Effects => {
-  const { transfer } = attempt;
-  if (transfer === null) return [];
-  const described = describeTransfer(forwarding, attempt, `${transfer.phase}-done`);
-  switch (transfer.phase) {
-    case 'copying':
-      attempt.transfer = { ...transfer, phase: 'copied' };
-      return [described, ...checkTransfer(forwarding, attempt, context)];
-    case 'copied':
-      return [];
-    case 'stopping': {
-      const copy = { address: attempt.endpoint.address, handle };
-      return [described, ...goOn(forwarding, attempt, transfer.target, copy, context)];
-    }
-    default:
-      return assertNever(transfer.phase);
-  }
+  const { attempt } = run;
+  const { orders, since, target } = transfer;
+  const released = [describeTransfer(run, reason, target), ...releaseTurn(run)];
+  if (orders >= MAX_TRANSFER_ORDERS) return released;
+  const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
+  attempt.transfer = { phase: 'waiting', since, orders, dueAt };
+  return released;
+};
+
+const failTransfer = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  reason: string,
+  context: RequestsContext,
+): Effects => {
+  const released = [describeTransfer(run, reason, transfer.target), ...releaseTurn(run)];
+  if (run.attempt.streamState === 'open') return released;
+  const end = { kind: 'broken', message: 'the transfer failed' } as const;
+  return [...released, ...endAttempt(run.forwarding, run.attempt, end, context)];
 };
 
 /**
  * Takes the result of a step of a transfer.
  *
- * @param forwarding - request
- * @param attempt - attempt at the source
+ * @param run - generation and the attempt at the source
  * @param result - how the step ended
  * @param context - state and inputs
  * @returns effects
  */
 export const endTransferStep = (
-  forwarding: Forwarding,
-  attempt: Attempt,
+  run: RunningGeneration,
   result: TransferResult,
   context: RequestsContext,
 ): Effects => {
+  const { attempt } = run;
   const { transfer } = attempt;
-  if (transfer === null) return [];
+  if (transfer === null || transfer.phase === 'waiting') return [];
   switch (result.kind) {
     case 'copied':
-      return handleCopied(forwarding, attempt, result.handle, context);
-    case 'no-room': {
-      const described = describeTransfer(forwarding, attempt, 'no-room');
+      return handleCopied(run, transfer, result.handle, context);
+    case 'no-room':
       attempt.refusedTargets.add(transfer.target.id);
-      if (transfer.phase === 'copying') {
-        return [described, ...startCopy(forwarding, attempt, context)];
-      }
-      if (result.handle === null) {
-        attempt.transfer = null;
-        return [described];
-      }
+      if (transfer.phase === 'copying') return repeatLater(run, transfer, 'no-room', context);
+      if (result.handle === null) return failTransfer(run, transfer, 'no-room', context);
       // The source stopped and keeps the memory, so the generation goes on where it was.
-      const copy = { address: attempt.endpoint.address, handle: result.handle };
-      return [described, ...goOn(forwarding, attempt, attempt.endpoint, copy, context)];
-    }
+      return [
+        describeTransfer(run, 'back-at-source', attempt.endpoint),
+        ...releaseTurn(run),
+        ...goOn(
+          run,
+          attempt.endpoint,
+          { address: attempt.endpoint.address, handle: result.handle },
+          context,
+        ),
+      ];
     case 'not-running':
-    case 'failed': {
-      // A generation that was preempted runs again soon.
-      if (result.kind === 'not-running' && transfer.phase === 'copying') {
-        attempt.refusedTargets.add(transfer.target.id);
-        const again = attempt.refusedTargets.size < MAX_TRANSFER_TARGETS;
-        const check = scheduleCheck(forwarding, attempt, TRANSFER_RETRY_MS);
-        if (again) return [describeTransfer(forwarding, attempt, 'not-running'), check];
-      }
-      const reason = result.kind === 'failed' ? result.message : result.kind;
-      const described = describeTransfer(forwarding, attempt, reason);
-      const wasStopping = transfer.phase === 'stopping';
-      attempt.transfer = null;
-      if (!wasStopping || attempt.streamState === 'open') return [described];
-      const end = { kind: 'broken', message: 'the transfer failed' } as const;
-      return [described, ...endAttempt(forwarding, attempt, end, context)];
-    }
+      // It waits for its first token or was preempted, and runs again soon.
+      return transfer.phase === 'copying'
+        ? repeatLater(run, transfer, 'not-running', context)
+        : failTransfer(run, transfer, 'not-running', context);
+    case 'failed':
+      return failTransfer(run, transfer, result.message, context);
     default:
       return assertNever(result);
   }
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -20,16 +20,25 @@
 /** Why an attempt was made. */
 export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'continuation';
 
-/** Transfer of a running generation to another endpoint. */
-export interface Transfer {
-  readonly target: EndpointRecord;
-  /**
-   * `copying`: the source runs on. `copied`: the copy is complete, and the source is stopped when
-   * its link is free. `stopping`: its stream ends without its end.
-   */
-  readonly phase: 'copying' | 'copied' | 'stopping';
-  readonly startedAt: Millis;
-}
+/**
+ * Transfer of a running generation to another endpoint. It waits for its turn at the link of the
+ * source; while it is copied, the source runs on; then the source stops, and its stream ends
+ * without its end.
+ */
+export type Transfer =
+  | {
+      readonly phase: 'waiting';
+      readonly since: Millis;
+      /** Orders that were given to the source so far. */
+      readonly orders: number;
+      readonly dueAt: Millis;
+    }
+  | {
+      readonly phase: 'copying' | 'stopping';
+      readonly since: Millis;
+      readonly orders: number;
+      readonly target: EndpointRecord;
+    };
 
 /** How far an attempt has come; before `sent` the endpoint cannot have run the request. */
 export type AttemptPhase = 'connecting' | 'sent' | 'answering';
@@ -102,8 +111,8 @@
   readonly getTable: () => RoutingTable | null;
   readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
   readonly countDaemons: () => number;
-  /** Copies that other daemons have under way from an endpoint. */
-  readonly countPeerCopies: (source: EndpointId) => number;
+  /** Whether a daemon that goes first has generations to take from an endpoint. */
+  readonly hasPeerBefore: (source: EndpointId) => boolean;
   readonly budget: BudgetRule;
   readonly coldOvershoot: number;
   readonly crashes: CrashTable;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -17,11 +17,11 @@
 import { createMovesLogic } from './moves/moves.js';
 import { createCrashReports } from './peers/crashReports.js';
 import type { CrashReports } from './peers/crashReports.js';
-import { countDaemons, countPeerCopies, createPeersLogic } from './peers/peers.js';
+import { countDaemons, createPeersLogic, hasPeerBefore } from './peers/peers.js';
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
-import { countOwnCopies, sumOwnLoads } from './requests/load.js';
+import { countOwnTransfers, sumOwnLoads } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
@@ -137,7 +137,7 @@
       getTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
-      countPeerCopies: (source) => countPeerCopies(states.peers, source, clock.now()),
+      hasPeerBefore: (source) => hasPeerBefore(states.peers, source, settings.process, clock.now()),
       budget: settings.budget,
       coldOvershoot: settings.coldOvershoot,
       crashes: crashes.table,
@@ -157,7 +157,7 @@
           tokens,
           waitingTokens,
         ]),
-      listOwnCopies: () => [...countOwnCopies(states.requests)],
+      listOwnTransfers: () => [...countOwnTransfers(states.requests)],
       listCrashes: crashes.listSince,
       addCrash: crashes.addHeard,
     }),
