--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -280,6 +280,11 @@
     level: 'info',
     text: 'A running generation is on its way to another endpoint.',
   },
+  'settings-reloaded': {
+    number: 1007,
+    level: 'info',
+    text: 'A daemon took over changed settings.',
+  },
   'caller-unreadable': {
     number: 2011,
     level: 'info',
--- /dev/null
+++ b/packages/decisions/forwarding/crashSuspicion.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava';
+import { CRASH_MEMORY_MS, MAX_CRASH_RECORDS } from './constants.js';
+import { checkCrashes, createCrashTable, recordCrash } from './crashSuspicion.js';
+
+// Guards against a request that takes down one endpoint after the other.
+test('a request that crashed three endpoints is refused for a while', (t) => {
+  const table = createCrashTable();
+  recordCrash(table, 'f', 'e-1', 0);
+  recordCrash(table, 'f', 'e-2', 1);
+  recordCrash(table, 'f', 'e-2', 2);
+  t.is(checkCrashes(table, 'f', 3), 'accept');
+  recordCrash(table, 'f', 'e-3', 4);
+  t.is(checkCrashes(table, 'f', 5), 'refuse');
+  t.is(checkCrashes(table, 'g', 5), 'accept');
+  t.is(checkCrashes(table, 'f', 5 + CRASH_MEMORY_MS), 'accept');
+});
+
+// Guards against a table that grows with every connection that breaks.
+test('the oldest crash is forgotten above the bound', (t) => {
+  const table = createCrashTable();
+  for (let number = 0; number <= MAX_CRASH_RECORDS; number += 1) {
+    recordCrash(table, `f-${number.toString()}`, 'e-1', number);
+  }
+  t.is(table.size, MAX_CRASH_RECORDS);
+  t.false(table.has('f-0'));
+});
--- /dev/null
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { EMPTY_SPLITTER, splitEvents } from './eventSplitter.js';
+import type { StreamEvent } from './eventSplitter.js';
+
+const text = (bytes: Uint8Array): string => Buffer.from(bytes).toString('latin1');
+
+const splitAll = (chunks: readonly Uint8Array[]) => {
+  let state = EMPTY_SPLITTER;
+  const events: StreamEvent[] = [];
+  for (const chunk of chunks) {
+    const result = splitEvents(state, chunk);
+    ({ state } = result);
+    events.push(...result.events);
+  }
+  return { events, rest: state.rest };
+};
+
+const event = fc
+  .tuple(fc.nat(999), fc.stringMatching(/^[a-z ]{0,20}$/), fc.constantFrom('\n', '\r\n'))
+  .map(([id, data, end]) => `id: ${id.toString()}${end}data: ${data}${end}${end}`);
+
+// Guards against events that change, get lost or are passed on in part when chunks fall inside them.
+test('chunks of any size give the same events and bytes', (t) => {
+  const property = fc.property(
+    fc.array(event, { maxLength: 6 }),
+    fc.stringMatching(/^[a-z]{0,8}$/),
+    fc.array(fc.integer({ min: 1, max: 7 }), { minLength: 1, maxLength: 9 }),
+    (events, torn, sizes) => {
+      const whole = Buffer.from(events.join('') + torn);
+      const chunks: Uint8Array[] = [];
+      for (let at = 0, turn = 0; at < whole.length; turn += 1) {
+        const size = sizes[turn % sizes.length] as number;
+        chunks.push(whole.subarray(at, at + size));
+        at += size;
+      }
+      const result = splitAll(chunks);
+      t.deepEqual(
+        result.events.map(({ bytes }) => text(bytes)),
+        events,
+      );
+      t.is(text(result.rest), torn);
+      t.deepEqual(
+        result.events.map(({ id }) => id),
+        events.map((each) => /id: (\d+)/.exec(each)?.[1]),
+      );
+    },
+  );
+  fc.assert(property, { seed: 11, numRuns: 300 });
+});
+
+// Guards against memory that grows with an endpoint that never ends an event.
+test('an event without an end is too large in the end', (t) => {
+  const result = splitEvents(EMPTY_SPLITTER, Buffer.alloc(300 * 1024, 'x'));
+  t.is(result.outcome, 'too-large');
+});
--- /dev/null
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -0,0 +1,140 @@
+import type { Candidate } from './placeForward.js';
+import { NEW_ENDPOINT_HEALTH } from './endpointHealth.js';
+import type {
+  EndpointRecord,
+  ForwardingConfiguration,
+  GenerationDemand,
+  Route,
+  Service,
+} from './types.js';
+
+/** A service of model engines. */
+export const ENGINE_SERVICE: Service = {
+  name: 'writer',
+  healthPath: '/health',
+  maxConnections: 100,
+  coldPerSecond: 0,
+  engine: {
+    slots: 8,
+    memoryTokens: 10_000,
+    tokensPerEvent: 4,
+    backups: 'supported',
+    moves: 'supported',
+  },
+};
+
+/** A plain service. */
+export const PLAIN_SERVICE: Service = {
+  ...ENGINE_SERVICE,
+  name: 'ledger',
+  engine: null,
+};
+
+export const DEMAND: GenerationDemand = {
+  model: 'm',
+  promptTokens: 1_000,
+  maxOutputTokens: 800,
+  expectedOutputTokens: 400,
+};
+
+/** Route of a generation that cannot be started again. */
+export const MEMO_ROUTE: Route = {
+  name: 'memo',
+  host: 'host.example',
+  pathPrefix: '/memo/',
+  answer: 'stream',
+  repeat: 'once',
+  resume: 'single-run',
+  timeoutMs: 39_000,
+  targetMs: 1_800,
+  gapTargetMs: 180,
+  maxEndpoints: 1,
+  rank: 1,
+  access: 'keyed',
+  targets: [{ service: 'writer', weight: 1 }],
+};
+
+/** Route of a short generation that may be resumed. */
+export const SUMMARY_ROUTE: Route = {
+  ...MEMO_ROUTE,
+  name: 'summary',
+  pathPrefix: '/summary/',
+  repeat: 'idempotent',
+  resume: 'resumable',
+  maxEndpoints: 2,
+};
+
+/** Route of a call that must not be repeated. */
+export const SWEEP_ROUTE: Route = {
+  ...MEMO_ROUTE,
+  name: 'sweep',
+  pathPrefix: '/sweep/',
+  answer: 'whole',
+  timeoutMs: 600,
+  targetMs: 120,
+  gapTargetMs: null,
+  targets: [{ service: 'ledger', weight: 1 }],
+};
+
+/** Route of an idempotent look-up. */
+export const LOOKUP_ROUTE: Route = {
+  ...SWEEP_ROUTE,
+  name: 'lookup',
+  pathPrefix: '/lookup/',
+  repeat: 'idempotent',
+  maxEndpoints: 2,
+};
+
+export const CONFIGURATION: ForwardingConfiguration = {
+  version: 7,
+  routes: [MEMO_ROUTE, SUMMARY_ROUTE, SWEEP_ROUTE, LOOKUP_ROUTE],
+  services: [ENGINE_SERVICE, PLAIN_SERVICE],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+  customers: [{ name: 'acme', keys: ['key-1'], rank: null }],
+};
+
+/**
+ * Builds an endpoint that is ready.
+ *
+ * @param id - its id; its port follows from the last digit
+ * @param change - fields that differ
+ * @returns the registration
+ */
+export const buildEndpoint = (
+  id: string,
+  change: Partial<EndpointRecord> = {},
+): EndpointRecord => ({
+  id,
+  service: 'writer',
+  address: { host: '127.0.0.1', port: 9_000 + Number(id.at(-1)) },
+  dataCentre: 'dc-a',
+  version: 'v1',
+  slots: 8,
+  phase: 'ready',
+  coldRemainingMs: 0,
+  startedAt: 1,
+  ...change,
+});
+
+/**
+ * Builds a candidate without load.
+ *
+ * @param record - its registration
+ * @param change - fields that differ
+ * @returns the candidate
+ */
+export const buildCandidate = (
+  record: EndpointRecord,
+  change: Partial<Candidate> = {},
+): Candidate => ({
+  record,
+  health: NEW_ENDPOINT_HEALTH,
+  load: { requests: 0, tokens: 0, waitingTokens: 0 },
+  coldRoom: null,
+  ...change,
+});
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -22,6 +22,7 @@
     case 'transfer-ended':
     case 'caller-gone':
     case 'feed-answered':
+    case 'report-read':
     case 'request-arrived':
       return 'completion';
     case 'feed-due':
@@ -30,6 +31,7 @@
     case 'data-centres-changed':
     case 'attempt-observed':
     case 'removal-due':
+    case 'reports-due':
     case 'report-due':
     case 'moves-changed':
     case 'deadline-reached':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -1,6 +1,7 @@
 import type {
   AnswerHead,
   AttemptHead,
+  EngineReport,
   FeedName,
   FeedResult,
   MoveOrder,
@@ -54,6 +55,8 @@
       readonly scope: 'all' | 'changed';
     }
   | { readonly kind: 'attempt-observed'; readonly endpoint: EndpointId; readonly sign: AttemptSign }
+  | { readonly kind: 'reports-due' }
+  | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
   | { readonly kind: 'removal-due'; readonly id: EndpointId; readonly removedAt: Millis }
 );
 
@@ -166,6 +169,11 @@
       readonly attempt: number;
       readonly order: TransferOrder;
     }
+  | {
+      readonly kind: 'read-report';
+      readonly endpoint: EndpointId;
+      readonly address: EndpointAddress;
+    }
   | { readonly kind: 'cancel-attempt'; readonly key: number; readonly attempt: number }
   | { readonly kind: 'start-answer'; readonly key: number; readonly head: AnswerHead }
   | { readonly kind: 'write-answer'; readonly key: number; readonly bytes: Uint8Array }
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -15,7 +15,7 @@
 export interface GateInputs {
   readonly clock: Clock;
   /** Time from the order to stop until the process is killed. */
-  readonly graceMs: Millis;
+  readonly getGraceMs: () => Millis;
   readonly countOpen: () => number;
 }
 
@@ -34,7 +34,7 @@
     case 'draining': {
       const drainedMs = now - state.since;
       const isDone = left === 0 && drainedMs >= DRAIN_MIN_MS;
-      const isOver = drainedMs >= inputs.graceMs - GRACE_MARGIN_MS;
+      const isOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
       if (!isDone && !isOver) return toStep<GateState, GatewayEffect>(state, CHECK);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', since: now },
@@ -71,7 +71,7 @@
         });
       case 'drain-started': {
         if (state.phase !== 'accepting') return toStep<GateState, GatewayEffect>(state);
-        const data = { open: inputs.countOpen(), graceMs: inputs.graceMs };
+        const data = { open: inputs.countOpen(), graceMs: inputs.getGraceMs() };
         return toStep<GateState, GatewayEffect>(
           { phase: 'draining', since: inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -8,6 +8,8 @@
 export interface RunningGateway {
   /** Drains and ends; resolves when nothing is left or the grace period is over. */
   readonly stop: () => Promise<void>;
+  /** Takes over what a running daemon can of changed settings. */
+  readonly reload: (settings: GatewaySettings) => void;
   /** Resolves when the daemon ended, for whatever reason. */
   readonly ended: Promise<EndReason>;
 }
@@ -102,6 +104,10 @@
       daemon.loop.post({ to: 'frontend', kind: 'drain-started' });
       await close;
     },
+    reload: ({ live }) => {
+      cradle.live.current = live;
+      events.record('settings-reloaded', { data: { seeds: live.seeds.length } });
+    },
     ended: close,
   };
 };
--- a/packages/gateway/membership/constants.ts
+++ b/packages/gateway/membership/constants.ts
@@ -1,2 +1,5 @@
+/** Interval at which engines are asked for their state while the store is away. */
+export const REPORTS_INTERVAL_MS = 300;
+
 /** How long a removal is held back while it may only mean that the store was away. */
 export const DOUBTFUL_REMOVAL_MS = 2_500;
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,4 +1,4 @@
-import { DOUBTFUL_REMOVAL_MS } from './constants.js';
+import { DOUBTFUL_REMOVAL_MS, REPORTS_INTERVAL_MS } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
@@ -8,7 +8,7 @@
 import type { AttemptSign, EndpointHealth } from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { RecordChange } from '../types.js';
+import type { EngineReport, RecordChange } from '../types.js';
 
 /** One endpoint with what this daemon has seen of it. */
 export interface KnownEndpoint {
@@ -26,8 +26,20 @@
   readonly out: Set<DataCentreId>;
 }
 
+export interface MembershipInputs {
+  readonly clock: Clock;
+  /** Engines whose state is asked for, since the store does not tell it now. */
+  readonly listWatched: () => readonly EndpointId[];
+}
+
 type Effects = GatewayEffect[];
 
+const SCHEDULE_REPORTS: GatewayEffect = {
+  kind: 'schedule',
+  delayMs: REPORTS_INTERVAL_MS,
+  event: { to: 'membership', kind: 'reports-due' },
+};
+
 const describeEndpoint = (record: EndpointRecord, change: string): GatewayEffect => ({
   kind: 'log',
   name: 'endpoint-changed',
@@ -165,22 +177,40 @@
   return [describeEndpoint(known.record, 'removed')];
 };
 
+const readReports = ({ endpoints }: MembershipState, watched: readonly EndpointId[]): Effects =>
+  watched.flatMap((endpoint): Effects => {
+    const address = endpoints.get(endpoint)?.record.address;
+    return address === undefined ? [] : [{ kind: 'read-report', endpoint, address }];
+  });
+
+const applyReport = (
+  { endpoints }: MembershipState,
+  id: EndpointId,
+  { phase }: EngineReport,
+): Effects => {
+  const known = endpoints.get(id);
+  if (known === undefined || phase === 'ready' || known.record.phase === 'leaving') return [];
+  const record = { ...known.record, phase };
+  endpoints.set(id, { ...known, record });
+  return [describeEndpoint(record, 'reported'), announceLeaving(id)];
+};
+
 /**
  * Creates the child that keeps the endpoints, their health as this daemon saw it, and the data
  * centres that operators took out.
  *
- * @param clock - time of records and observations
+ * @param inputs - clock, and the engines to watch
  * @returns the decisions of the child
  */
-export const createMembershipLogic = (
-  clock: Clock,
-): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
+export const createMembershipLogic = ({
+  clock,
+  listWatched,
+}: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
-    toStep<MembershipState, GatewayEffect>({
-      loaded: 'no',
-      endpoints: new Map(),
-      out: new Set(),
-    }),
+    toStep<MembershipState, GatewayEffect>(
+      { loaded: 'no', endpoints: new Map(), out: new Set() },
+      SCHEDULE_REPORTS,
+    ),
   decide: (state, event) => {
     const now = clock.now();
     switch (event.kind) {
@@ -193,6 +223,10 @@
         return { state, effects: applyDataCentres(state, event.changes, event.scope) };
       case 'attempt-observed':
         return { state, effects: applySign(state, event.endpoint, event.sign, now) };
+      case 'reports-due':
+        return { state, effects: [...readReports(state, listWatched()), SCHEDULE_REPORTS] };
+      case 'report-read':
+        return { state, effects: applyReport(state, event.endpoint, event.report) };
       case 'removal-due':
         return { state, effects: applyRemoval(state, event.id, event.removedAt) };
       default:
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -31,7 +31,7 @@
   readonly random: RandomSource;
   readonly process: string;
   readonly ownHost: string;
-  readonly seeds: readonly string[];
+  readonly getSeeds: () => readonly string[];
   /** Work of this daemon by endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
   readonly listOwnTransfers: () => PeerMessage['transfers'];
@@ -95,7 +95,7 @@
 const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
   const known = [...state.peers.values()].map(({ host }) => host);
   const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
-  const seeds = isSeedTurn ? inputs.seeds : [];
+  const seeds = isSeedTurn ? inputs.getSeeds() : [];
   const all = [...new Set([...known, ...seeds])].filter((host) => host !== inputs.ownHost);
   if (all.length <= MAX_REPORT_TARGETS) return all;
   const start = Math.floor(inputs.random.next() * all.length);
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -40,6 +40,16 @@
   });
 };
 
+const readReport = (
+  { address, endpoint }: Extract<GatewayEffect, { kind: 'read-report' }>,
+  { engines, loop }: GatewayAdapters,
+): void => {
+  void engines.readReport(address).then((report) => {
+    if (report === null) return;
+    loop().post({ to: 'membership', kind: 'report-read', endpoint, report });
+  });
+};
+
 const startTransfer = (
   { attempt, key, order }: Extract<GatewayEffect, { kind: 'start-transfer' }>,
   { engines, loop }: GatewayAdapters,
@@ -85,6 +95,9 @@
     case 'open-attempt':
       endpoints.open(effect.order);
       return;
+    case 'read-report':
+      readReport(effect, adapters);
+      return;
     case 'start-transfer':
       startTransfer(effect, adapters);
       return;
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -29,6 +29,10 @@
 export const RETRY_AFTER_MIN_MS = 50;
 export const RETRY_AFTER_MAX_MS = 2_000;
 
+/** The same for a daemon that has no configuration or too many requests. */
+export const UNREADY_RETRY_SHARE = 0.3;
+export const UNREADY_RETRY_MAX_MS = 4_000;
+
 /** Part of the bound of a cold endpoint that is used; requests arrive bunched. */
 export const COLD_USE = 0.7;
 
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -60,6 +60,21 @@
   return loads;
 };
 
+/**
+ * Lists the endpoints that run generations which cannot be started again.
+ *
+ * @param state - requests in progress
+ * @returns their ids
+ */
+export const listStreaming = (state: RequestsState): readonly EndpointId[] => {
+  const ids = new Set<EndpointId>();
+  for (const { attempts, route } of state.table.values()) {
+    if (route.answer !== 'stream' || route.resume === 'resumable') continue;
+    for (const { endpoint } of attempts.values()) ids.add(endpoint.id);
+  }
+  return [...ids];
+};
+
 /**
  * Counts the generations that this daemon is to take from endpoints that leave, by endpoint.
  *
@@ -98,7 +113,7 @@
   if (service.coldPerSecond <= 0) {
     return candidates.map((candidate) => ({ ...candidate, coldRoom: null }));
   }
-  const whole = service.coldPerSecond * inputs.coldOvershoot * COLD_USE;
+  const whole = service.coldPerSecond * inputs.getLive().coldOvershoot * COLD_USE;
   const part = Math.max(1, Math.floor(whole / inputs.countDaemons()));
   return candidates.map((candidate) => {
     if (candidate.coldRoom === null) return candidate;
--- /dev/null
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -0,0 +1,180 @@
+import { createRequestsLogic } from './requests.js';
+import type { RequestsInputs } from './types.js';
+import { createVirtualClock } from '../../core/clock.js';
+import { createRandomSource } from '../../core/random.js';
+import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
+import {
+  buildCandidate,
+  buildEndpoint,
+  CONFIGURATION,
+  DEMAND,
+} from '../../decisions/forwarding/forwarding.fixture.js';
+import { buildRoutingTable } from '../../decisions/forwarding/routing.js';
+import type { EndpointRecord, ForwardRequest } from '../../decisions/forwarding/types.js';
+import type { AttemptOrder, GatewayEffect, RequestsEvent } from '../events.js';
+import type { AnswerHead } from '../types.js';
+
+export const SIGNED: AnswerHead = {
+  status: 200,
+  headers: ['Response-Mark', 'a'],
+  requestId: 'r-1',
+  signature: 'signed',
+  proof: 'none',
+  encoding: 'plain',
+  framing: 'framed',
+};
+
+/** The requests child with a virtual clock and endpoints that a test changes. */
+export interface RequestsHarness {
+  readonly endpoints: EndpointRecord[];
+  readonly crashes: RequestsInputs['crashes'];
+  readonly peersBefore: Set<string>;
+  readonly post: (event: RequestsEvent) => readonly GatewayEffect[];
+  readonly arrive: (path: string, change?: Partial<ForwardRequest>) => readonly GatewayEffect[];
+  /** Lets time pass and posts the events that fall due. */
+  readonly wait: (duration: number) => readonly GatewayEffect[];
+  readonly countOpen: () => number;
+  readonly setConfigured: (state: 'yes' | 'no') => void;
+}
+
+interface Timer {
+  readonly at: number;
+  readonly event: RequestsEvent;
+}
+
+export const ENGINES = (): EndpointRecord[] => [
+  buildEndpoint('e-1'),
+  buildEndpoint('e-2', { dataCentre: 'dc-b' }),
+  buildEndpoint('e-3', { dataCentre: 'dc-c' }),
+];
+
+export const LEDGERS = (): EndpointRecord[] =>
+  ['l-4', 'l-5', 'l-6'].map((id) => buildEndpoint(id, { service: 'ledger' }));
+
+/**
+ * Creates the child and the tables around it.
+ *
+ * @returns the harness
+ */
+export const createRequestsHarness = (): RequestsHarness => {
+  const clock = createVirtualClock(1_000);
+  const endpoints = [...ENGINES(), ...LEDGERS()];
+  const crashes = createCrashTable();
+  const peersBefore = new Set<string>();
+  const table = buildRoutingTable(CONFIGURATION);
+  let configured: 'yes' | 'no' = 'yes';
+  let timers: Timer[] = [];
+  let nextKey = 1;
+  const logic = createRequestsLogic({
+    clock,
+    random: createRandomSource(3),
+    getTable: () => (configured === 'yes' ? table : null),
+    listEndpoints: (service) =>
+      endpoints
+        .filter((record) => record.service === service)
+        .map((record) => buildCandidate(record)),
+    countDaemons: () => 1,
+    hasPeerBefore: (source) => peersBefore.has(source),
+    getLive: () => ({
+      seeds: [],
+      budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      graceMs: 8_000,
+      coldOvershoot: 1.5,
+    }),
+    crashes,
+    addOwnCrash: (fingerprint, endpoint) => {
+      recordCrash(crashes, fingerprint, endpoint, clock.now());
+    },
+    hashContent: ({ body, path }) => path + Buffer.from(body).toString(),
+  });
+  const { state } = logic.init();
+
+  const post = (event: RequestsEvent): readonly GatewayEffect[] => {
+    const { effects } = logic.decide(state, event);
+    for (const effect of effects) {
+      if (effect.kind !== 'schedule' || effect.event.to !== 'requests') continue;
+      timers.push({ at: clock.now() + effect.delayMs, event: effect.event });
+    }
+    return effects;
+  };
+
+  return {
+    endpoints,
+    crashes,
+    peersBefore,
+    post,
+    arrive: (path, change = {}) => {
+      const request: ForwardRequest = {
+        key: nextKey,
+        id: 'r-1',
+        method: 'POST',
+        path,
+        host: 'host.example',
+        headers: [],
+        body: Buffer.from('body'),
+        credential: 'key-1',
+        patienceMs: 39_000,
+        demand: path.startsWith('/memo') || path.startsWith('/summary') ? DEMAND : null,
+        lastEventId: null,
+        receivedAt: clock.now(),
+        ...change,
+      };
+      nextKey += 1;
+      return post({ to: 'requests', kind: 'request-arrived', request });
+    },
+    wait: (duration) => {
+      const end = clock.now() + duration;
+      const effects: GatewayEffect[] = [];
+      for (;;) {
+        const [next] = timers.filter(({ at }) => at <= end).sort((a, b) => a.at - b.at);
+        if (next === undefined) break;
+        timers = timers.filter((timer) => timer !== next);
+        clock.advance(Math.max(0, next.at - clock.now()));
+        effects.push(...post(next.event));
+      }
+      clock.advance(end - clock.now());
+      return effects;
+    },
+    countOpen: () => state.table.size,
+    setConfigured: (next) => {
+      configured = next;
+    },
+  };
+};
+
+/**
+ * Finds the attempts that effects open.
+ *
+ * @param effects - effects of a decision
+ * @returns the orders
+ */
+export const findOrders = (effects: readonly GatewayEffect[]): readonly AttemptOrder[] =>
+  effects.flatMap((effect) => (effect.kind === 'open-attempt' ? [effect.order] : []));
+
+/**
+ * Finds the only effect of a kind.
+ *
+ * @param effects - effects of a decision
+ * @param kind - kind to find
+ * @returns the effect, or undefined when there is none
+ */
+export const findEffect = <Kind extends GatewayEffect['kind']>(
+  effects: readonly GatewayEffect[],
+  kind: Kind,
+): Extract<GatewayEffect, { kind: Kind }> | undefined =>
+  effects.find((effect): effect is Extract<GatewayEffect, { kind: Kind }> => effect.kind === kind);
+
+/**
+ * Builds the bytes of events.
+ *
+ * @param from - first id
+ * @param to - last id
+ * @returns the bytes
+ */
+export const buildEvents = (from: number, to: number): Uint8Array =>
+  Buffer.from(
+    Array.from(
+      { length: to - from + 1 },
+      (_, index) => `id: ${(from + index).toString()}\ndata: x\n\n`,
+    ).join(''),
+  );
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,6 +1,6 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
 import { cancelAttempts, computeSilence, placeRequest } from './attempts.js';
-import { MAX_REQUESTS } from './constants.js';
+import { MAX_REQUESTS, UNREADY_RETRY_MAX_MS, UNREADY_RETRY_SHARE } from './constants.js';
 import { checkStopped, endTransferStep, leaveEndpoint, takeTurn } from './transfers.js';
 import { endAttempt, expireRequest, getBudget, hedgeRequest } from './retrying.js';
 import type {
@@ -34,10 +34,14 @@
   },
 ];
 
-const RETRY_SOON_MS = 300;
-
-const refuseUnready = (request: ForwardRequest, message: string): Effects =>
-  refuseArrival(request, createFailure('not-run', 'no-endpoint', message, RETRY_SOON_MS));
+/** A daemon that is not ready needs a while, and callers come back only a few times. */
+const refuseUnready = (request: ForwardRequest, message: string): Effects => {
+  const retryAfterMs = Math.min(
+    UNREADY_RETRY_MAX_MS,
+    (request.patienceMs ?? 0) * UNREADY_RETRY_SHARE,
+  );
+  return refuseArrival(request, createFailure('not-run', 'no-endpoint', message, retryAfterMs));
+};
 
 const findTarget = (route: Route, inputs: RequestsInputs): Service | null => {
   const name = chooseService(route, inputs.random);
@@ -101,7 +105,7 @@
   }
   const forwarding = createForwarding(request, route, service, customer);
   state.table.set(request.key, forwarding);
-  countRequest(getBudget(forwarding, context), inputs.budget, now);
+  countRequest(getBudget(forwarding, context), inputs.getLive().budget, now);
   return [
     {
       kind: 'schedule',
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -34,8 +34,9 @@
 };
 
 const takeBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
-  const { budget, clock, countDaemons } = context.inputs;
-  return takeRepeat(getBudget(forwarding, context), budget, countDaemons(), clock.now());
+  const { clock, countDaemons, getLive } = context.inputs;
+  const window = getBudget(forwarding, context);
+  return takeRepeat(window, getLive().budget, countDaemons(), clock.now());
 };
 
 const toSign = (end: AttemptEnd): AttemptSign => {
--- /dev/null
+++ b/packages/gateway/requests/transfers.test.ts
@@ -0,0 +1,143 @@
+import test from 'ava';
+import {
+  buildEvents,
+  createRequestsHarness,
+  findEffect,
+  findOrders,
+  SIGNED,
+} from './requests.fixture.js';
+import type { RequestsHarness } from './requests.fixture.js';
+import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { TransferResult } from '../types.js';
+
+const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
+
+const findTransfers = (effects: readonly GatewayEffect[]) =>
+  effects.flatMap((effect) => (effect.kind === 'start-transfer' ? [effect] : []));
+
+/** Starts memos on the only engine there is, so that none has a copy, and then adds the others. */
+const startMemos = (harness: RequestsHarness, count: number): readonly AttemptOrder[] => {
+  const others = harness.endpoints.splice(1, 2);
+  const orders = Array.from({ length: count }, (_, index) => {
+    const [order] = findOrders(harness.arrive('/memo/1', { id: `r-${index.toString()}` }));
+    if (order === undefined) throw new Error('no attempt was opened');
+    const head = { ...SIGNED, requestId: `r-${index.toString()}` };
+    harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+    harness.post({ ...toEvent(order), kind: 'answer-started', head });
+    harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 9) });
+    return order;
+  });
+  harness.endpoints.push(...others);
+  return orders;
+};
+
+const leave = (harness: RequestsHarness): readonly GatewayEffect[] => {
+  const [first] = harness.endpoints;
+  if (first !== undefined) harness.endpoints[0] = { ...first, phase: 'leaving' };
+  return [
+    ...harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint: 'e-1' }),
+    ...harness.wait(25),
+  ];
+};
+
+const end = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
+  harness.post({ ...toEvent(order), kind: 'transfer-ended', result });
+
+const COPIED: TransferResult = { kind: 'copied', handle: 'h-1', events: 9 };
+
+// Guards against a generation that is lost with an engine that said it would leave.
+test('a generation is copied, stopped, and goes on at the target', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  const [copy] = findTransfers(leave(harness));
+  t.is(copy?.order.mode, 'copy');
+  const [stop] = findTransfers(end(harness, order, COPIED));
+  t.is(stop?.order.mode, 'stop');
+  t.deepEqual(stop?.order.target, copy?.order.target);
+  // The source closes its stream before the answer to the order comes.
+  const closed = harness.post({
+    ...toEvent(order),
+    kind: 'attempt-failed',
+    failure: { kind: 'broken', message: 'aborted' },
+  });
+  t.deepEqual(closed, []);
+  const effects = end(harness, order, COPIED);
+  const [next] = findOrders(effects);
+  t.deepEqual(next?.address, copy?.order.target);
+  t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-1' });
+  t.is(next?.head.lastEventId, '9');
+});
+
+// Guards against copies that wait for each other on the link of the engine that leaves.
+test('generations of one engine are taken one after the other', (t) => {
+  const harness = createRequestsHarness();
+  const orders = startMemos(harness, 3);
+  const first = findTransfers(leave(harness));
+  t.is(first.length, 1);
+  const order = orders.find(({ key }) => key === first[0]?.key) as AttemptOrder;
+  end(harness, order, COPIED);
+  t.deepEqual(findTransfers(harness.wait(50)), []);
+  end(harness, order, COPIED);
+  t.is(findTransfers(harness.wait(20)).length, 1);
+});
+
+// Guards against two daemons that use the link of the engine at once, and against a daemon that
+// waits for ever for one that is gone.
+test('a daemon waits for its turn, but not for ever', (t) => {
+  const harness = createRequestsHarness();
+  startMemos(harness, 1);
+  harness.peersBefore.add('e-1');
+  t.deepEqual(findTransfers([...leave(harness), ...harness.wait(400)]), []);
+  t.is(findTransfers(harness.wait(700)).length, 1);
+});
+
+// Guards against a generation that stays because the first target has no room.
+test('a target without room is replaced by another', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  const [first] = findTransfers(leave(harness));
+  end(harness, order, { kind: 'no-room', handle: null });
+  const [second] = findTransfers(harness.wait(150));
+  t.notDeepEqual(second?.order.target, first?.order.target);
+});
+
+// Guards against a generation that is lost when the target fills up after the source stopped.
+test('a stopped generation goes on at its source when the target has no room', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  leave(harness);
+  end(harness, order, COPIED);
+  const effects = end(harness, order, { kind: 'no-room', handle: 'h-2' });
+  const [next] = findOrders(effects);
+  t.deepEqual(next?.address, order.address);
+  t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-2' });
+});
+
+// Guards against a caller that waits for a stream whose source stopped and whose transfer failed.
+test('a transfer that fails after the source stopped ends the stream', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  leave(harness);
+  end(harness, order, COPIED);
+  harness.post({
+    ...toEvent(order),
+    kind: 'attempt-failed',
+    failure: { kind: 'broken', message: 'aborted' },
+  });
+  const effects = end(harness, order, { kind: 'failed', message: 'reset' });
+  t.truthy(findEffect(effects, 'break-answer'));
+  t.is(harness.countOpen(), 0);
+});
+
+// Guards against a second copy of a generation that has one already.
+test('a generation with a usable copy is not transferred', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = findOrders(harness.arrive('/memo/1')) as [AttemptOrder];
+  t.truthy(order.head.backup);
+  const effects = harness.post({
+    to: 'requests',
+    kind: 'endpoint-leaving',
+    endpoint: order.head.endpointId,
+  });
+  t.deepEqual(effects, []);
+});
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,12 +1,12 @@
 import type { GatewayEffect } from '../events.js';
-import type { AnswerHead } from '../types.js';
+import type { AnswerHead, LiveSettings } from '../types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
 import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
 import type { Candidate } from '../../decisions/forwarding/placeForward.js';
-import type { BudgetRule, BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
+import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
 import type {
   Customer,
@@ -113,8 +113,7 @@
   readonly countDaemons: () => number;
   /** Whether a daemon that goes first has generations to take from an endpoint. */
   readonly hasPeerBefore: (source: EndpointId) => boolean;
-  readonly budget: BudgetRule;
-  readonly coldOvershoot: number;
+  readonly getLive: () => LiveSettings;
   readonly crashes: CrashTable;
   readonly addOwnCrash: (fingerprint: string, endpoint: string) => void;
   readonly hashContent: (request: ForwardRequest) => string;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -20,16 +20,20 @@
   readonly readiness: EndpointAddress;
   /** Address for datagrams of other gateway daemons. */
   readonly peers: EndpointAddress;
-  /** Hosts of gateway daemons to begin with; some may be gone. */
-  readonly seeds: readonly string[];
   readonly metrics: EndpointAddress;
   readonly store: StoreSettings;
+  readonly live: LiveSettings;
+}
+
+/** Settings that a running daemon takes over when its file changes. */
+export interface LiveSettings {
+  /** Hosts of gateway daemons to begin with; some may be gone. */
+  readonly seeds: readonly string[];
   readonly budget: BudgetRule;
   /** Time from the order to stop until the process is killed. */
   readonly graceMs: Millis;
-  /** Factor and addend of the bound on requests to a cold endpoint. */
+  /** Factor of the bound on requests to a cold endpoint. */
   readonly coldOvershoot: number;
-  readonly coldSlack: number;
 }
 
 /** The platform's store as its client needs it. */
@@ -124,7 +128,13 @@
 }
 
 /** Orders to engines. */
+/** What an engine says of itself. */
+export interface EngineReport {
+  readonly phase: 'ready' | 'leaving';
+}
+
 export interface EngineControl {
+  readonly readReport: (address: EndpointAddress) => Promise<EngineReport | null>;
   readonly transfer: (order: TransferOrder) => Promise<TransferResult>;
 }
 
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -21,11 +21,17 @@
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
-import { countOwnTransfers, sumOwnLoads } from './requests/load.js';
+import { countOwnTransfers, listStreaming, sumOwnLoads } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
-import type { EngineControl, FeedReader, GatewaySettings, HeadCodec } from './types.js';
+import type {
+  EngineControl,
+  FeedReader,
+  GatewaySettings,
+  HeadCodec,
+  LiveSettings,
+} from './types.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
 import { createEventLog } from '../core/events/eventLog.js';
@@ -62,6 +68,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly incarnation: string;
+  /** Replaced when the settings file changes. */
+  readonly live: { current: LiveSettings };
   readonly states: GatewayStates;
   readonly events: EventLog;
   readonly metrics: DeferredMetrics;
@@ -129,7 +137,7 @@
   );
 
 const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
-  const { clock, crashes, random, settings, states } = cradle;
+  const { clock, crashes, live, random, settings, states } = cradle;
   return {
     requests: createRequestsLogic({
       clock,
@@ -138,8 +146,7 @@
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
       hasPeerBefore: (source) => hasPeerBefore(states.peers, source, settings.process, clock.now()),
-      budget: settings.budget,
-      coldOvershoot: settings.coldOvershoot,
+      getLive: () => live.current,
       crashes: crashes.table,
       addOwnCrash: crashes.addOwn,
       hashContent,
@@ -149,7 +156,7 @@
       random,
       process: settings.process,
       ownHost: settings.peers.host,
-      seeds: settings.seeds,
+      getSeeds: () => live.current.seeds,
       listOwnLoad: () =>
         [...sumOwnLoads(states.requests)].map(([id, { requests, tokens, waitingTokens }]) => [
           id,
@@ -162,12 +169,16 @@
       addCrash: crashes.addHeard,
     }),
     configuration: createConfigurationLogic(),
-    membership: createMembershipLogic(clock),
+    membership: createMembershipLogic({
+      clock,
+      listWatched: () =>
+        states.feeds.registrations.failingSince === null ? [] : listStreaming(states.requests),
+    }),
     moves: createMovesLogic(),
     feeds: createFeedsLogic(clock),
     frontend: createGateLogic({
       clock,
-      graceMs: settings.graceMs,
+      getGraceMs: () => live.current.graceMs,
       countOpen: () => states.requests.table.size,
     }),
   };
@@ -224,6 +235,7 @@
   const container = createContainer<GatewayCradle>({ injectionMode: 'PROXY', strict: true });
   container.register({
     settings: asValue(settings),
+    live: asValue({ current: settings.live }),
     ports: asValue(ports),
     onEnd: asValue(onEnd),
     clock: asFunction(createSystemClock).singleton(),
