--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -116,7 +116,7 @@
   version: 'v1',
   slots: 8,
   phase: 'ready',
-  coldRemainingMs: 0,
+  coldForMs: 0,
   startedAt: 1,
   ...change,
 });
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -102,7 +102,7 @@
   readonly version: string;
   readonly slots: number;
   readonly phase: 'ready' | 'leaving';
-  readonly coldRemainingMs: Millis;
+  readonly coldForMs: Millis;
   /** Instant of the endpoint's start by its own clock, to tell two lives under one id apart. */
   readonly startedAt: Millis | null;
 }
--- /dev/null
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import { RETURN_GRACE_MS } from './constants.js';
+import { createFeedsLogic } from './feeds.js';
+import type { FeedsState } from './feeds.js';
+import { createVirtualClock } from '../../core/clock.js';
+import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
+import type { GatewayEffect } from '../events.js';
+import type { FeedName, FeedResult, RecordChange } from '../types.js';
+
+const createHarness = () => {
+  const clock = createVirtualClock(1_000);
+  const logic = createFeedsLogic(clock);
+  const first = logic.init();
+  let state: FeedsState = first.state;
+  const answer = (feed: FeedName, result: FeedResult): readonly GatewayEffect[] => {
+    const step = logic.decide(state, { to: 'feeds', kind: 'feed-answered', feed, result });
+    ({ state } = step);
+    return step.effects;
+  };
+  return { clock, answer, started: first.effects, getState: () => state };
+};
+
+const REGISTERED: RecordChange = { kind: 'endpoint-registered', record: buildEndpoint('e-1') };
+const REMOVED: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
+const FAILED: FeedResult = { kind: 'failed', message: 'down' };
+
+const findRegistrations = (effects: readonly GatewayEffect[]) =>
+  effects.flatMap((effect) =>
+    effect.kind === 'post' && effect.event.kind === 'registrations-changed' ? [effect.event] : [],
+  );
+
+test('a daemon loads the newest records and then follows', (t) => {
+  const harness = createHarness();
+  t.deepEqual(harness.started, [
+    { kind: 'load-feed', feed: 'operator' },
+    { kind: 'load-feed', feed: 'registrations' },
+  ]);
+  const effects = harness.answer('operator', {
+    kind: 'loaded',
+    changes: [{ kind: 'configuration', configuration: CONFIGURATION }],
+    position: 9,
+  });
+  const posted = effects.flatMap((effect) => (effect.kind === 'post' ? [effect.event.kind] : []));
+  t.true(posted.includes('configuration-read'));
+  t.true(posted.includes('data-centres-changed'));
+  const quiet = harness.answer('operator', { kind: 'read', changes: [], position: 9 });
+  t.like(quiet[0], { kind: 'read-feed', position: 9 });
+});
+
+// Guards against a daemon that goes on with records that the store no longer has.
+test('expired records are loaded again', (t) => {
+  const harness = createHarness();
+  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
+  const effects = harness.answer('registrations', { kind: 'expired' });
+  t.deepEqual(effects.at(-1), { kind: 'load-feed', feed: 'registrations' });
+  const reloaded = harness.answer('registrations', { kind: 'loaded', changes: [], position: 6 });
+  t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: 'certain' });
+});
+
+// Guards against endpoints that are given up because their entries lapsed with the store.
+test('removals after an outage are doubtful for a while', (t) => {
+  const harness = createHarness();
+  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
+  const lost = harness.answer('registrations', FAILED);
+  t.true(lost.some((effect) => effect.kind === 'log' && effect.name === 'log-unavailable'));
+  t.false(harness.answer('registrations', FAILED).some(({ kind }) => kind === 'log'));
+  harness.clock.advance(5_000);
+  const back = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 5 });
+  t.is(findRegistrations(back)[0]?.removals, 'doubtful');
+  t.true(back.some((effect) => effect.kind === 'log' && effect.name === 'log-available'));
+  harness.clock.advance(RETURN_GRACE_MS);
+  const later = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 6 });
+  t.is(findRegistrations(later)[0]?.removals, 'certain');
+});
+
+// Guards against a price for each registration: they come about once a second from each endpoint.
+test('reads of registrations pause after records', (t) => {
+  const harness = createHarness();
+  harness.answer('registrations', { kind: 'loaded', changes: [], position: 0 });
+  const effects = harness.answer('registrations', {
+    kind: 'read',
+    changes: [REGISTERED],
+    position: 1,
+  });
+  t.true(effects.some((effect) => effect.kind === 'schedule' && effect.delayMs > 100));
+});
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -33,7 +33,7 @@
   for (const { health, record, recordedAt } of membership.endpoints.values()) {
     if (record.service !== service || membership.out.has(record.dataCentre)) continue;
     const own = ownLoads.get(record.id) ?? NO_LOAD;
-    const isCold = now < recordedAt + record.coldRemainingMs;
+    const isCold = now < recordedAt + record.coldForMs;
     candidates.push({
       record,
       health,
--- /dev/null
+++ b/packages/gateway/membership/membership.test.ts
@@ -0,0 +1,104 @@
+import test from 'ava';
+import { DOUBTFUL_REMOVAL_MS } from './constants.js';
+import { createMembershipLogic } from './membership.js';
+import { createVirtualClock } from '../../core/clock.js';
+import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
+import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { RecordChange } from '../types.js';
+
+const createHarness = (watched: readonly string[] = []) => {
+  const clock = createVirtualClock(1_000);
+  const logic = createMembershipLogic({ clock, listWatched: () => watched });
+  let { state } = logic.init();
+  const post = (event: MembershipEvent): readonly GatewayEffect[] => {
+    const step = logic.decide(state, event);
+    ({ state } = step);
+    return step.effects;
+  };
+  const change = (
+    changes: readonly RecordChange[],
+    scope: 'all' | 'changed' = 'changed',
+    removals: 'certain' | 'doubtful' = 'certain',
+  ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
+  return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
+};
+
+const register = (id: string, fields = {}): RecordChange => ({
+  kind: 'endpoint-registered',
+  record: buildEndpoint(id, fields),
+});
+
+const announcesLeaving = (effects: readonly GatewayEffect[]): boolean =>
+  effects.some((effect) => effect.kind === 'post' && effect.event.kind === 'endpoint-leaving');
+
+// Guards against generations that stay on an endpoint which leaves without saying so.
+test('a leaving and a removed endpoint are announced', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1'), register('e-2')]);
+  t.true(announcesLeaving(harness.change([register('e-1', { phase: 'leaving' })])));
+  t.true(announcesLeaving(harness.change([{ kind: 'endpoint-removed', id: 'e-2' }])));
+  t.deepEqual(harness.list(), ['e-1']);
+});
+
+// Guards against endpoints that are lost with an outage of the store though they live.
+test('a doubtful removal waits for the endpoint to come back', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1'), register('e-2')]);
+  const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
+  const [timer] = harness.change([removal], 'changed', 'doubtful');
+  harness.change([{ ...removal, id: 'e-2' }], 'changed', 'doubtful');
+  t.deepEqual(harness.list(), ['e-1', 'e-2']);
+  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, DOUBTFUL_REMOVAL_MS);
+  harness.change([register('e-2')]);
+  harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
+  harness.post({ to: 'membership', kind: 'removal-due', id: 'e-2', removedAt: 1_000 });
+  t.deepEqual(harness.list(), ['e-2']);
+});
+
+// Guards against endpoints that stay for ever when their removal was not read.
+test('a load replaces what was known', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1'), register('e-2')]);
+  harness.change([register('e-2')], 'all');
+  t.deepEqual(harness.list(), ['e-2']);
+});
+
+// Guards against faults of an earlier life that are held against a new one under the same id.
+test('an endpoint that starts again under its id begins anew', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  const sign = { kind: 'unreachable' } as const;
+  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign });
+  t.true((harness.getState().endpoints.get('e-1')?.health.avoidUntil ?? 0) > 1_000);
+  harness.change([register('e-1', { startedAt: 2 })]);
+  t.is(harness.getState().endpoints.get('e-1')?.health.avoidUntil, 0);
+});
+
+// Guards against an engine whose notice is missed because the store is away.
+test('a report of an engine tells that it leaves', (t) => {
+  const harness = createHarness(['e-1']);
+  harness.change([register('e-1')]);
+  const asked = harness.post({ to: 'membership', kind: 'reports-due' });
+  t.true(asked.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
+  const report = { phase: 'leaving' } as const;
+  const effects = harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
+  t.true(announcesLeaving(effects));
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
+});
+
+// Guards against a data centre that stays out after operators took it back while the store was away.
+test('a load also tells which data centres are back', (t) => {
+  const harness = createHarness();
+  const out: RecordChange = { kind: 'data-centre-out', dataCentre: 'dc-a' };
+  harness.post({
+    to: 'membership',
+    kind: 'data-centres-changed',
+    changes: [out],
+    scope: 'changed',
+  });
+  t.true(harness.getState().out.has('dc-a'));
+  harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'changed' });
+  t.true(harness.getState().out.has('dc-a'));
+  harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'all' });
+  t.false(harness.getState().out.has('dc-a'));
+});
