--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,7 +22,7 @@
 ];
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'packages/wire/gen/', 'results/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'packages/wire/gen/', 'results/'] },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
@@ -102,7 +102,10 @@
     },
   },
   {
-    files: ['packages/{core,entry,endpoint,wire,platform,settings,timeline}/**/*.ts'],
+    files: [
+      'packages/{core,entry,endpoint,gateway,wire,platform,settings,timeline}/**/*.ts',
+      'platform/**/*.ts',
+    ],
     ignores: ['**/*.test.ts'],
     rules: {
       'no-restricted-imports': [
--- a/packages/decisions/forwarding/endpointHealth.ts
+++ b/packages/decisions/forwarding/endpointHealth.ts
@@ -30,7 +30,7 @@
   avoidUntil: 0,
 };
 
-const mix = (mean: number, sample: number): number => mean + (sample - mean) * HEALTH_WEIGHT;
+const updateMean = (mean: number, sample: number): number => mean + (sample - mean) * HEALTH_WEIGHT;
 
 /**
  * Computes the failure rate at an instant. It fades while nothing is observed, so that an endpoint
@@ -45,7 +45,7 @@
 
 const addSample = (health: EndpointHealth, sample: 0 | 1, now: Millis): EndpointHealth => ({
   ...health,
-  failureRate: mix(computeFailureRate(health, now), sample),
+  failureRate: updateMean(computeFailureRate(health, now), sample),
   observedAt: now,
 });
 
@@ -65,7 +65,7 @@
   switch (sign.kind) {
     case 'answered': {
       const { answerMs } = health;
-      const mean = answerMs === null ? sign.durationMs : mix(answerMs, sign.durationMs);
+      const mean = answerMs === null ? sign.durationMs : updateMean(answerMs, sign.durationMs);
       return { ...addSample(health, 0, now), answerMs: mean };
     }
     case 'full':
--- a/packages/decisions/forwarding/eventSplitter.test.ts
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -3,7 +3,7 @@
 import { EMPTY_SPLITTER, splitEvents } from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
 
-const text = (bytes: Uint8Array): string => Buffer.from(bytes).toString('latin1');
+const toText = (bytes: Uint8Array): string => Buffer.from(bytes).toString('latin1');
 
 const splitAll = (chunks: readonly Uint8Array[]) => {
   let state = EMPTY_SPLITTER;
@@ -36,10 +36,10 @@
       }
       const result = splitAll(chunks);
       t.deepEqual(
-        result.events.map(({ bytes }) => text(bytes)),
+        result.events.map(({ bytes }) => toText(bytes)),
         events,
       );
-      t.is(text(result.rest), torn);
+      t.is(toText(result.rest), torn);
       t.deepEqual(
         result.events.map(({ id }) => id),
         events.map((each) => /id: (\d+)/.exec(each)?.[1]),
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -82,7 +82,7 @@
   health.avoidUntil <= question.now &&
   (coldRoom === null || coldRoom > 0);
 
-const scorePlain = (
+const computePlainScore = (
   { record, health, load }: Candidate,
   excessRate: number,
   question: PlacementQuestion,
@@ -92,7 +92,7 @@
   return answerMs * (1 + 2 * fill) + excessRate * FAILURE_COST * question.targetMs;
 };
 
-const scoreEngine = (
+const computeEngineScore = (
   { record, load }: Candidate,
   excessRate: number,
   question: PlacementQuestion,
@@ -108,14 +108,14 @@
   return slotShare + memoryShare + waiting + overflow + excessRate * FAILURE_COST;
 };
 
-const scoreCandidate = (
+const computeScore = (
   candidate: Candidate,
   excessRate: number,
   question: PlacementQuestion,
 ): number =>
   question.service.engine === null
-    ? scorePlain(candidate, excessRate, question)
-    : scoreEngine(candidate, excessRate, question);
+    ? computePlainScore(candidate, excessRate, question)
+    : computeEngineScore(candidate, excessRate, question);
 
 const chooseLowest = (
   candidates: readonly Candidate[],
@@ -129,7 +129,7 @@
   let bestScore = Infinity;
   for (const [index, candidate] of candidates.entries()) {
     const excessRate = (rates[index] ?? 0) - commonRate;
-    const score = scoreCandidate(candidate, excessRate, question) * (1 + NOISE * random.next());
+    const score = computeScore(candidate, excessRate, question) * (1 + NOISE * random.next());
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
--- a/packages/decisions/forwarding/routing.ts
+++ b/packages/decisions/forwarding/routing.ts
@@ -24,7 +24,7 @@
   | { readonly kind: 'no-route' }
   | { readonly kind: 'unknown-key' };
 
-const groupByHost = (routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> => {
+const sortByHost = (routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> => {
   const byHost = new Map<string, Route[]>();
   for (const route of routes) {
     const host = route.host.toLowerCase();
@@ -45,7 +45,7 @@
 export const buildRoutingTable = (configuration: ForwardingConfiguration): RoutingTable => ({
   version: configuration.version,
   configuration,
-  byHost: groupByHost(configuration.routes),
+  byHost: sortByHost(configuration.routes),
   byKey: new Map(
     (configuration.customers ?? []).flatMap((customer) =>
       customer.keys.map((key) => [key, customer] as const),
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -32,7 +32,7 @@
  * Lets an answer end with its connection. The endpoint sent it that way, so nobody can tell
  * whether it is complete, and a length of ours would claim that it is.
  */
-const markUntilClose = (response: ServerResponse): void => {
+const clearFraming = (response: ServerResponse): void => {
   response.shouldKeepAlive = false;
   response.removeHeader('Transfer-Encoding');
 };
@@ -69,7 +69,7 @@
     const isFramed = hasBody && head.framing === 'framed';
     const length = isFramed ? ['Content-Length', body.length.toString()] : [];
     response.sendDate = false;
-    if (hasBody && !isFramed) markUntilClose(response);
+    if (hasBody && !isFramed) clearFraming(response);
     response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
   };
@@ -114,7 +114,7 @@
       const response = open.get(key)?.response;
       if (response === undefined) return;
       response.sendDate = false;
-      if (head.framing === 'until-close') markUntilClose(response);
+      if (head.framing === 'until-close') clearFraming(response);
       response.writeHead(head.status, buildHeaders(head.headers));
     },
     writeAnswer: (key, bytes) => {
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -28,15 +28,15 @@
   record: buildEndpoint(id, fields),
 });
 
-const announcesLeaving = (effects: readonly GatewayEffect[]): boolean =>
+const hasLeavingNotice = (effects: readonly GatewayEffect[]): boolean =>
   effects.some((effect) => effect.kind === 'post' && effect.event.kind === 'endpoint-leaving');
 
 // Guards against generations that stay on an endpoint which leaves without saying so.
 test('a leaving and a removed endpoint are announced', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
-  t.true(announcesLeaving(harness.change([register('e-1', { phase: 'leaving' })])));
-  t.true(announcesLeaving(harness.change([{ kind: 'endpoint-removed', id: 'e-2' }])));
+  t.true(hasLeavingNotice(harness.change([register('e-1', { phase: 'leaving' })])));
+  t.true(hasLeavingNotice(harness.change([{ kind: 'endpoint-removed', id: 'e-2' }])));
   t.deepEqual(harness.list(), ['e-1']);
 });
 
@@ -82,7 +82,7 @@
   t.true(asked.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
   const report = { phase: 'leaving' } as const;
   const effects = harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
-  t.true(announcesLeaving(effects));
+  t.true(hasLeavingNotice(effects));
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
 
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -50,7 +50,7 @@
   },
 });
 
-const announceLeaving = (endpoint: EndpointId): GatewayEffect => ({
+const notifyLeaving = (endpoint: EndpointId): GatewayEffect => ({
   kind: 'post',
   event: { to: 'requests', kind: 'endpoint-leaving', endpoint },
 });
@@ -71,7 +71,7 @@
   endpoints.set(record.id, { record, health, recordedAt: now, removedAt: null });
   if (isNew) return [describeEndpoint(record, 'registered')];
   if (known.record.phase === record.phase) return [];
-  const leaving = record.phase === 'leaving' ? [announceLeaving(record.id)] : [];
+  const leaving = record.phase === 'leaving' ? [notifyLeaving(record.id)] : [];
   return [describeEndpoint(record, 'phase'), ...leaving];
 };
 
@@ -85,7 +85,7 @@
   if (known === undefined) return [];
   if (removals === 'certain' || known.record.phase === 'leaving') {
     endpoints.delete(id);
-    return [describeEndpoint(known.record, 'removed'), announceLeaving(id)];
+    return [describeEndpoint(known.record, 'removed'), notifyLeaving(id)];
   }
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
@@ -192,7 +192,7 @@
   if (known === undefined || phase === 'ready' || known.record.phase === 'leaving') return [];
   const record = { ...known.record, phase };
   endpoints.set(id, { ...known, record });
-  return [describeEndpoint(record, 'reported'), announceLeaving(id)];
+  return [describeEndpoint(record, 'reported'), notifyLeaving(id)];
 };
 
 /**
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -23,7 +23,7 @@
   chunks.length === 1 ? (chunks[0] as Uint8Array) : Buffer.concat(chunks);
 
 /** Gives up an attempt whose connection is still open. */
-const abandonAttempt = (
+const endOpenAttempt = (
   forwarding: Forwarding,
   attempt: Attempt,
   end: AttemptEnd,
@@ -65,13 +65,13 @@
   context: RequestsContext,
 ): Effects => {
   const fault = findFault(forwarding, head);
-  if (fault !== null) return abandonAttempt(forwarding, attempt, fault, context);
+  if (fault !== null) return endOpenAttempt(forwarding, attempt, fault, context);
   attempt.phase = 'answering';
   attempt.head = head;
   return [];
 };
 
-const showEvents = (
+const writeEvents = (
   forwarding: Forwarding,
   attempt: Attempt,
   events: readonly StreamEvent[],
@@ -124,14 +124,14 @@
     attempt.bytes += bytes.length;
     if (attempt.bytes <= MAX_WHOLE_BYTES) return [];
     const end = { kind: 'garbled', message: 'the answer is too large' } as const;
-    return abandonAttempt(forwarding, attempt, end, context);
+    return endOpenAttempt(forwarding, attempt, end, context);
   }
   const { events, outcome, state } = splitEvents(attempt.splitter, bytes);
   attempt.splitter = state;
-  const shown = events.length === 0 ? [] : showEvents(forwarding, attempt, events, context);
+  const shown = events.length === 0 ? [] : writeEvents(forwarding, attempt, events, context);
   if (outcome === 'ok') return shown;
   const end = { kind: 'garbled', message: 'an event is too large' } as const;
-  return [...shown, ...abandonAttempt(forwarding, attempt, end, context)];
+  return [...shown, ...endOpenAttempt(forwarding, attempt, end, context)];
 };
 
 const endStream = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
@@ -141,7 +141,9 @@
     const end = { kind: 'broken', message: 'the stream ended without an event' } as const;
     return endAttempt(forwarding, attempt, end, context);
   }
-  const last = hasRest ? showEvents(forwarding, attempt, [{ bytes: rest, id: null }], context) : [];
+  const last = hasRest
+    ? writeEvents(forwarding, attempt, [{ bytes: rest, id: null }], context)
+    : [];
   forwarding.attempts.delete(attempt.number);
   const others = cancelAttempts(forwarding);
   return [...last, ...others, ...finishStream(forwarding, attempt, context)];
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -7,19 +7,19 @@
 
 const MILLIS_DIGITS = 10;
 
-const roundMs = (duration: Millis): number => Math.round(duration * MILLIS_DIGITS) / MILLIS_DIGITS;
+const formatMs = (duration: Millis): number => Math.round(duration * MILLIS_DIGITS) / MILLIS_DIGITS;
 
 const computeRetryAfter = (leftMs: Millis): Millis =>
   Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_AFTER_MIN_MS, leftMs * RETRY_AFTER_SHARE));
 
 const describeTimes = (forwarding: Forwarding, now: Millis) => ({
   attempts: forwarding.attemptsMade,
-  afterMs: roundMs(now - forwarding.request.receivedAt),
+  afterMs: formatMs(now - forwarding.request.receivedAt),
   firstMs:
     forwarding.firstEventAt === null
       ? -1
-      : roundMs(forwarding.firstEventAt - forwarding.request.receivedAt),
-  longestGapMs: roundMs(forwarding.longestGapMs),
+      : formatMs(forwarding.firstEventAt - forwarding.request.receivedAt),
+  longestGapMs: formatMs(forwarding.longestGapMs),
   lastEventId: forwarding.lastEventId ?? '',
 });
 
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -42,13 +42,13 @@
   readonly event: RequestsEvent;
 }
 
-export const ENGINES = (): EndpointRecord[] => [
+export const buildEngines = (): EndpointRecord[] => [
   buildEndpoint('e-1'),
   buildEndpoint('e-2', { dataCentre: 'dc-b' }),
   buildEndpoint('e-3', { dataCentre: 'dc-c' }),
 ];
 
-export const LEDGERS = (): EndpointRecord[] =>
+export const buildLedgers = (): EndpointRecord[] =>
   ['l-4', 'l-5', 'l-6'].map((id) => buildEndpoint(id, { service: 'ledger' }));
 
 /**
@@ -58,7 +58,7 @@
  */
 export const createRequestsHarness = (): RequestsHarness => {
   const clock = createVirtualClock(1_000);
-  const endpoints = [...ENGINES(), ...LEDGERS()];
+  const endpoints = [...buildEngines(), ...buildLedgers()];
   const crashes = createCrashTable();
   const peersBefore = new Set<string>();
   const table = buildRoutingTable(CONFIGURATION);
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -28,7 +28,12 @@
   return harness.post({ ...toEvent(order), kind: 'answer-started', head });
 };
 
-const answer = (harness: RequestsHarness, order: AttemptOrder, head: AnswerHead, text: string) => [
+const sendAnswer = (
+  harness: RequestsHarness,
+  order: AttemptOrder,
+  head: AnswerHead,
+  text: string,
+) => [
   ...start(harness, order, head),
   ...harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: Buffer.from(text) }),
   ...harness.post({ ...toEvent(order), kind: 'answer-ended' }),
@@ -63,7 +68,7 @@
   t.not(second.head.endpointId, first.head.endpointId);
   const third = getOrder(start(harness, second, REFUSED));
   t.false([first, second].some(({ head }) => head.endpointId === third.head.endpointId));
-  const effects = answer(harness, third, SIGNED, 'done');
+  const effects = sendAnswer(harness, third, SIGNED, 'done');
   t.is(Buffer.from(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'done');
 });
 
@@ -83,8 +88,8 @@
 test('an idempotent call is tried at a second endpoint, and its own failure is kept', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.arrive('/lookup/1'));
-  const second = getOrder(answer(harness, first, FAILED, 'no'));
-  const effects = answer(harness, second, FAILED, 'no again');
+  const second = getOrder(sendAnswer(harness, first, FAILED, 'no'));
+  const effects = sendAnswer(harness, second, FAILED, 'no again');
   t.deepEqual(findOrders(effects), []);
   t.is(findEffect(effects, 'send-whole')?.head.status, 500);
   t.is(Buffer.from(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'no again');
@@ -114,7 +119,7 @@
   const first = getOrder(harness.arrive('/lookup/1'));
   send(harness, first);
   const second = getOrder(harness.wait(110));
-  const effects = answer(harness, second, SIGNED, 'fast');
+  const effects = sendAnswer(harness, second, SIGNED, 'fast');
   t.is(findEffect(effects, 'cancel-attempt')?.attempt, first.attempt);
   t.truthy(findEffect(effects, 'send-whole'));
   t.is(harness.countOpen(), 0);
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,8 +1,8 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
 import { cancelAttempts, computeSilence, placeRequest } from './attempts.js';
 import { MAX_REQUESTS, UNREADY_RETRY_MAX_MS, UNREADY_RETRY_SHARE } from './constants.js';
-import { checkStopped, endTransferStep, leaveEndpoint, takeTurn } from './transfers.js';
-import { endAttempt, expireRequest, getBudget, hedgeRequest } from './retrying.js';
+import { checkStopped, endTransferStep, clearEndpoint, takeTurn } from './transfers.js';
+import { endAttempt, expireRequest, getBudget, sendHedge } from './retrying.js';
 import type {
   Attempt,
   Effects,
@@ -190,7 +190,7 @@
     case 'transfer-ended':
       return endTransferStep({ forwarding, attempt }, event.result, context);
     case 'hedge-due':
-      return attempt.phase === 'answering' ? [] : hedgeRequest(forwarding, context);
+      return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'silence-due':
       return checkSilence(forwarding, attempt, context);
     default:
@@ -201,7 +201,7 @@
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
   if (event.kind === 'request-arrived') return admitRequest(event.request, context);
   if (event.kind === 'transfer-turn') return takeTurn(event.source, context);
-  if (event.kind === 'endpoint-leaving') return leaveEndpoint(event.endpoint, context);
+  if (event.kind === 'endpoint-leaving') return clearEndpoint(event.endpoint, context);
   const forwarding = context.state.table.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -112,7 +112,7 @@
   },
 ];
 
-const canRepeat = ({ route, shown }: Forwarding): boolean =>
+const isRepeatable = ({ route, shown }: Forwarding): boolean =>
   route.resume === 'resumable' || (route.repeat === 'idempotent' && shown === 'nothing');
 
 const repeatAfterRun = (
@@ -129,7 +129,8 @@
     if (continued !== null) return continued;
   }
   const hasAttempts = forwarding.ran < route.maxEndpoints;
-  if (!canRepeat(forwarding) || !hasAttempts) return failRequest(forwarding, end.message, context);
+  if (!isRepeatable(forwarding) || !hasAttempts)
+    return failRequest(forwarding, end.message, context);
   if (takeBudget(forwarding, context) === 'spent') {
     return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
   }
@@ -143,7 +144,7 @@
 ): Effects => {
   forwarding.unrun += 1;
   // An earlier attempt may have run, and this one was only to go on from its copy.
-  if (forwarding.verdict !== 'not-run' && !canRepeat(forwarding)) {
+  if (forwarding.verdict !== 'not-run' && !isRepeatable(forwarding)) {
     return failRequest(forwarding, end.message, context);
   }
   if (forwarding.unrun >= MAX_UNRUN_ATTEMPTS) return failRequest(forwarding, end.message, context);
@@ -203,7 +204,7 @@
  * @param context - state and inputs
  * @returns effects
  */
-export const hedgeRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
+export const sendHedge = (forwarding: Forwarding, context: RequestsContext): Effects => {
   const running = forwarding.ran + forwarding.attempts.size;
   if (running >= forwarding.route.maxEndpoints) return [];
   if (takeBudget(forwarding, context) === 'spent') return [];
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -31,7 +31,7 @@
   return orders;
 };
 
-const leave = (harness: RequestsHarness): readonly GatewayEffect[] => {
+const startLeaving = (harness: RequestsHarness): readonly GatewayEffect[] => {
   const [first] = harness.endpoints;
   if (first !== undefined) harness.endpoints[0] = { ...first, phase: 'leaving' };
   return [
@@ -40,7 +40,7 @@
   ];
 };
 
-const end = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
+const endStep = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
   harness.post({ ...toEvent(order), kind: 'transfer-ended', result });
 
 const COPIED: TransferResult = { kind: 'copied', handle: 'h-1', events: 9 };
@@ -49,9 +49,9 @@
 test('a generation is copied, stopped, and goes on at the target', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
-  const [copy] = findTransfers(leave(harness));
+  const [copy] = findTransfers(startLeaving(harness));
   t.is(copy?.order.mode, 'copy');
-  const [stop] = findTransfers(end(harness, order, COPIED));
+  const [stop] = findTransfers(endStep(harness, order, COPIED));
   t.is(stop?.order.mode, 'stop');
   t.deepEqual(stop?.order.target, copy?.order.target);
   // The source closes its stream before the answer to the order comes.
@@ -61,7 +61,7 @@
     failure: { kind: 'broken', message: 'aborted' },
   });
   t.deepEqual(closed, []);
-  const effects = end(harness, order, COPIED);
+  const effects = endStep(harness, order, COPIED);
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, copy?.order.target);
   t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-1' });
@@ -72,12 +72,12 @@
 test('generations of one engine are taken one after the other', (t) => {
   const harness = createRequestsHarness();
   const orders = startMemos(harness, 3);
-  const first = findTransfers(leave(harness));
+  const first = findTransfers(startLeaving(harness));
   t.is(first.length, 1);
   const order = orders.find(({ key }) => key === first[0]?.key) as AttemptOrder;
-  end(harness, order, COPIED);
+  endStep(harness, order, COPIED);
   t.deepEqual(findTransfers(harness.wait(50)), []);
-  end(harness, order, COPIED);
+  endStep(harness, order, COPIED);
   t.is(findTransfers(harness.wait(20)).length, 1);
 });
 
@@ -87,7 +87,7 @@
   const harness = createRequestsHarness();
   startMemos(harness, 1);
   harness.peersBefore.add('e-1');
-  t.deepEqual(findTransfers([...leave(harness), ...harness.wait(400)]), []);
+  t.deepEqual(findTransfers([...startLeaving(harness), ...harness.wait(400)]), []);
   t.is(findTransfers(harness.wait(700)).length, 1);
 });
 
@@ -95,8 +95,8 @@
 test('a target without room is replaced by another', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
-  const [first] = findTransfers(leave(harness));
-  end(harness, order, { kind: 'no-room', handle: null });
+  const [first] = findTransfers(startLeaving(harness));
+  endStep(harness, order, { kind: 'no-room', handle: null });
   const [second] = findTransfers(harness.wait(150));
   t.notDeepEqual(second?.order.target, first?.order.target);
 });
@@ -105,9 +105,9 @@
 test('a stopped generation goes on at its source when the target has no room', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
-  leave(harness);
-  end(harness, order, COPIED);
-  const effects = end(harness, order, { kind: 'no-room', handle: 'h-2' });
+  startLeaving(harness);
+  endStep(harness, order, COPIED);
+  const effects = endStep(harness, order, { kind: 'no-room', handle: 'h-2' });
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, order.address);
   t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-2' });
@@ -117,14 +117,14 @@
 test('a transfer that fails after the source stopped ends the stream', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
-  leave(harness);
-  end(harness, order, COPIED);
+  startLeaving(harness);
+  endStep(harness, order, COPIED);
   harness.post({
     ...toEvent(order),
     kind: 'attempt-failed',
     failure: { kind: 'broken', message: 'aborted' },
   });
-  const effects = end(harness, order, { kind: 'failed', message: 'reset' });
+  const effects = endStep(harness, order, { kind: 'failed', message: 'reset' });
   t.truthy(findEffect(effects, 'break-answer'));
   t.is(harness.countOpen(), 0);
 });
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -78,7 +78,7 @@
     .listEndpoints(backup.service)
     .some(({ record }) => record.id === backup.id && record.phase === 'ready');
 
-const needsTransfer = ({ attempt, forwarding }: RunningGeneration, context: RequestsContext) =>
+const isTransferNeeded = ({ attempt, forwarding }: RunningGeneration, context: RequestsContext) =>
   forwarding.route.answer === 'stream' &&
   forwarding.route.resume === 'single-run' &&
   attempt.transfer === null &&
@@ -94,8 +94,8 @@
  * @param context - state and inputs
  * @returns effects
  */
-export const leaveEndpoint = (source: EndpointId, context: RequestsContext): Effects => {
-  const leaving = listAt(source, context).filter((run) => needsTransfer(run, context));
+export const clearEndpoint = (source: EndpointId, context: RequestsContext): Effects => {
+  const leaving = listAt(source, context).filter((run) => isTransferNeeded(run, context));
   if (leaving.length === 0) return [];
   const since = context.inputs.clock.now();
   for (const { attempt } of leaving) {
@@ -177,7 +177,7 @@
   return [REPORT_NOW, scheduleTurn(attempt.endpoint.id, 0)];
 };
 
-const goOn = (
+const resumeFromCopy = (
   run: RunningGeneration,
   endpoint: EndpointRecord,
   copy: CopyName,
@@ -213,7 +213,7 @@
     case 'stopping': {
       const copy = { address: attempt.endpoint.address, handle };
       const described = describeTransfer(run, 'moved', target);
-      return [described, ...releaseTurn(run), ...goOn(run, target, copy, context)];
+      return [described, ...releaseTurn(run), ...resumeFromCopy(run, target, copy, context)];
     }
     default:
       return assertNever(transfer.phase);
@@ -275,7 +275,7 @@
       return [
         describeTransfer(run, 'back-at-source', attempt.endpoint),
         ...releaseTurn(run),
-        ...goOn(
+        ...resumeFromCopy(
           run,
           attempt.endpoint,
           { address: attempt.endpoint.address, handle: result.handle },
