--- /dev/null
+++ b/packages/gateway/membership/candidates.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import { listCandidates } from './candidates.js';
+import { NEW_ENDPOINT_HEALTH } from '../../decisions/forwarding/endpointHealth.js';
+import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
+
+const build = (records: readonly EndpointRecord[], out: readonly string[] = []) => ({
+  membership: {
+    loaded: 'yes' as const,
+    endpoints: new Map(
+      records.map((record) => [
+        record.id,
+        { record, health: NEW_ENDPOINT_HEALTH, recordedAt: 1_000, removedAt: null },
+      ]),
+    ),
+    out: new Set(out),
+  },
+  peers: {
+    peers: new Map([
+      [
+        '10.0.0.2',
+        {
+          host: '10.0.0.2',
+          heardAt: 1_000,
+          message: {
+            format: 1 as const,
+            process: 'p-2',
+            load: [['e-1', 3, 900, 100] as const],
+            transfers: [],
+            hosts: [],
+            crashes: [],
+          },
+        },
+      ],
+    ]),
+    seedsAskedAt: 0,
+  },
+  requests: { table: new Map(), budgets: new Map(), coldSends: new Map() },
+  moves: { orders: new Map() },
+});
+
+const list = (sources: Parameters<typeof listCandidates>[1], now = 1_100) =>
+  listCandidates('writer', sources, now);
+
+// Guards against new work in a data centre that operators took out.
+test('endpoints of a data centre that is out are left out', (t) => {
+  const records = [buildEndpoint('e-1'), buildEndpoint('e-2', { dataCentre: 'dc-b' })];
+  const ids = list(build(records, ['dc-a'])).map(({ record }) => record.id);
+  t.deepEqual(ids, ['e-2']);
+});
+
+// Guards against a version that nobody judges and that gets a full share of the traffic.
+test('endpoints of a version that a service is to move to get nothing yet', (t) => {
+  const sources = build([buildEndpoint('e-1'), buildEndpoint('e-2', { version: 'v2' })]);
+  sources.moves.orders.set('writer', {
+    service: 'writer',
+    targetVersion: 'v2',
+    durationMs: 1_000,
+    offset: 1,
+  });
+  t.deepEqual(
+    list(sources).map(({ record }) => record.id),
+    ['e-1'],
+  );
+});
+
+// Guards against daemons that all choose the same endpoint, and against loads of a peer that is gone.
+test('the load of peers counts while it is fresh', (t) => {
+  const sources = build([buildEndpoint('e-1')]);
+  t.deepEqual(list(sources)[0]?.load, { requests: 3, tokens: 900, waitingTokens: 100 });
+  t.deepEqual(list(sources, 9_000)[0]?.load, { requests: 0, tokens: 0, waitingTokens: 0 });
+});
+
+// Guards against a cold endpoint that counts as warm.
+test('an endpoint is cold for as long as it said', (t) => {
+  const sources = build([buildEndpoint('e-1', { coldForMs: 500 })]);
+  t.is(list(sources)[0]?.coldRoom, 0);
+  t.is(list(sources, 1_600)[0]?.coldRoom, null);
+});
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -5,6 +5,7 @@
 import { sumPeerLoad } from '../peers/peers.js';
 import type { PeersState } from '../peers/peers.js';
 import { addLoads, NO_LOAD, sumOwnLoads } from '../requests/load.js';
+import type { MovesState } from '../moves/moves.js';
 import type { RequestsState } from '../requests/types.js';
 
 /** States from which the candidates of a placement are made. */
@@ -12,11 +13,13 @@
   readonly membership: MembershipState;
   readonly peers: PeersState;
   readonly requests: RequestsState;
+  readonly moves: MovesState;
 }
 
 /**
  * Lists the endpoints of a service for a placement, without those in data centres that operators
- * took out.
+ * took out. While a service is to move to another version, the endpoints of that version get
+ * nothing: without evidence from all daemons nobody can tell a bad version in time.
  *
  * @param service - service of the request
  * @param sources - states of membership, peers and requests
@@ -25,13 +28,14 @@
  */
 export const listCandidates = (
   service: ServiceName,
-  { membership, peers, requests }: CandidateSources,
+  { membership, moves, peers, requests }: CandidateSources,
   now: Millis,
 ): readonly Candidate[] => {
   const candidates: Candidate[] = [];
   const ownLoads = sumOwnLoads(requests);
   for (const { health, record, recordedAt } of membership.endpoints.values()) {
     if (record.service !== service || membership.out.has(record.dataCentre)) continue;
+    if (record.version === moves.orders.get(service)?.targetVersion) continue;
     const own = ownLoads.get(record.id) ?? NO_LOAD;
     const isCold = now < recordedAt + record.coldForMs;
     candidates.push({
