--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -59,7 +59,7 @@
 const LONG_OUTPUT_TOKENS = 1_000;
 
 /** Share of all engines' memory in use above which no more copies are made. */
-const COPY_AVERAGE_SHARE = 0.76;
+const COPY_AVERAGE_SHARE = 0.6;
 
 /** Share of an engine's memory up to which running generations are taken over. */
 const TRANSFER_SHARE = 1;
@@ -138,6 +138,20 @@
   return best;
 };
 
+/**
+ * Tells whether an endpoint has room for a request without a preemption.
+ *
+ * @param candidate - endpoint
+ * @param question - what the request asks for
+ * @returns whether memory and slots suffice
+ */
+export const hasRoom = ({ load, record }: Candidate, question: PlacementQuestion): boolean => {
+  const { demand, service } = question;
+  if (service.engine === null || demand === null) return true;
+  const tokens = load.tokens + demand.promptTokens;
+  return tokens <= service.engine.memoryTokens && load.requests < record.slots;
+};
+
 /**
  * Chooses the endpoint of one attempt: one that the request has not been at if there is any.
  *
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -1,5 +1,6 @@
 import {
   FIRST_EVENT_ID,
+  FULL_HOLD_SHARE,
   HEDGE_SHARE,
   HOLD_RETRY_MS,
   HOLD_SHARE,
@@ -13,6 +14,7 @@
 import { createFailure } from '../../core/verdict.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
+  hasRoom,
   placeBackup,
   placeForward,
   placeTransfer,
@@ -205,15 +207,19 @@
   const { inputs } = context;
   const now = inputs.clock.now();
   const candidates = listCandidates(forwarding, context);
-  const candidate = placeForward(candidates, buildQuestion(forwarding, now), inputs.random);
+  const question = buildQuestion(forwarding, now);
+  const candidate = placeForward(candidates, question, inputs.random);
+  const { request, route } = forwarding;
+  const waitedMs = now - request.receivedAt;
+  const event = { to: 'requests', kind: 'placement-due', key: request.key } as const;
+  const hold: GatewayEffect = { kind: 'schedule', delayMs: HOLD_RETRY_MS, event };
   if (candidate !== null) {
+    // Another request that ends soon makes room, while a preemption would make one late.
+    const isHeld = !hasRoom(candidate, question) && waitedMs < route.targetMs * FULL_HOLD_SHARE;
+    if (isHeld) return [hold];
     return openAttempt(forwarding, { candidate, purpose, copy: null }, candidates, context);
   }
-  const { request, route } = forwarding;
-  if (now - request.receivedAt < route.targetMs * HOLD_SHARE) {
-    const event = { to: 'requests', kind: 'placement-due', key: request.key } as const;
-    return [{ kind: 'schedule', delayMs: HOLD_RETRY_MS, event }];
-  }
+  if (waitedMs < route.targetMs * HOLD_SHARE) return [hold];
   const failure = createFailure('not-run', 'no-endpoint', 'no endpoint of the service can be used');
   return refuseRequest(forwarding, failure, context);
 };
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -1,6 +1,9 @@
 /** Part of its target for which a request waits for an endpoint; longer waits are refused. */
 export const HOLD_SHARE = 0.12;
 
+/** Part of its target for which a generation waits for memory before it is placed all the same. */
+export const FULL_HOLD_SHARE = 0.3;
+
 /** Pause before a held request is placed again. */
 export const HOLD_RETRY_MS = 20;
 
