--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -19,6 +19,16 @@
   registrations: 350,
 };
 
+/** Daemons up to which each reads at this pace; more of them read more slowly. */
+export const FEED_DAEMONS = 8;
+
+/**
+ * Bounds of the slower pace: a leaving endpoint and a new configuration have to be known within two
+ * seconds, also when a connection has fallen silent.
+ */
+export const MAX_FEED_PAUSE_MS = 900;
+export const MAX_FEED_WAIT_MS = 2_000;
+
 /** Pause after a failed read. */
 export const FEED_RETRY_MS = 250;
 
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,4 +1,12 @@
-import { FEED_PAUSE_MS, FEED_RETRY_MS, FEED_WAIT_MS, RETURN_GRACE_MS } from './constants.js';
+import {
+  FEED_DAEMONS,
+  FEED_PAUSE_MS,
+  FEED_RETRY_MS,
+  FEED_WAIT_MS,
+  MAX_FEED_PAUSE_MS,
+  MAX_FEED_WAIT_MS,
+  RETURN_GRACE_MS,
+} from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -23,12 +31,31 @@
 
 type Scope = 'all' | 'changed';
 
+export interface FeedsInputs {
+  readonly clock: Clock;
+  /** Daemons that read the same records, this one included. */
+  readonly countDaemons: () => number;
+}
+
+interface ReadContext {
+  readonly now: Millis;
+  readonly daemons: number;
+}
+
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
-const readEffect = (feed: FeedName, state: FeedState): GatewayEffect =>
+const readFeed = (feed: FeedName, state: FeedState, scale: number): GatewayEffect =>
   state.kind === 'loading'
     ? { kind: 'load-feed', feed }
-    : { kind: 'read-feed', feed, position: state.position, waitMs: FEED_WAIT_MS[feed] };
+    : {
+        kind: 'read-feed',
+        feed,
+        position: state.position,
+        waitMs: Math.min(FEED_WAIT_MS[feed] * scale, MAX_FEED_WAIT_MS),
+      };
+
+/** All daemons read the same records at a price, and tell each other which endpoints leave. */
+const computeScale = (daemons: number): number => Math.max(1, daemons / FEED_DAEMONS);
 
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
@@ -115,8 +142,9 @@
   feed: FeedName,
   state: FeedState,
   result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  now: Millis,
+  { daemons, now }: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
+  const scale = computeScale(daemons);
   const doubtUntil = computeDoubt(state, now);
   const scope = result.kind === 'loaded' ? 'all' : 'changed';
   const removals = now < doubtUntil ? 'doubtful' : 'certain';
@@ -127,14 +155,15 @@
     readAt: now,
     doubtUntil,
   };
-  const pauseMs = result.changes.length === 0 ? 0 : FEED_PAUSE_MS[feed];
+  const pauseMs =
+    result.changes.length === 0 ? 0 : Math.min(FEED_PAUSE_MS[feed] * scale, MAX_FEED_PAUSE_MS);
   return {
     state: next,
     effects: [
       ...describeReturn(feed, state, now),
       ...publishChanges(feed, result.changes, scope, removals),
       pauseMs === 0
-        ? readEffect(feed, next)
+        ? readFeed(feed, next, scale)
         : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
     ],
   };
@@ -165,12 +194,12 @@
   feed: FeedName,
   state: FeedState,
   result: FeedResult,
-  now: Millis,
+  context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
   switch (result.kind) {
     case 'loaded':
     case 'read':
-      return handleSuccess(feed, state, result, now);
+      return handleSuccess(feed, state, result, context);
     case 'expired':
       return toStep<FeedState, GatewayEffect>(
         { kind: 'loading', failingSince: state.failingSince },
@@ -178,7 +207,7 @@
         { kind: 'load-feed', feed },
       );
     case 'failed':
-      return handleFailure(feed, state, result.message, now);
+      return handleFailure(feed, state, result.message, context.now);
     default:
       return assertNever(result);
   }
@@ -188,12 +217,13 @@
  * Creates the child that follows the records of operators and endpoints in the platform's store. It
  * loads the newest records once and then reads on from their end.
  *
- * @param clock - time of the reads
+ * @param inputs - time of the reads and number of the readers
  * @returns the decisions of the child
  */
-export const createFeedsLogic = (
-  clock: Clock,
-): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
+export const createFeedsLogic = ({
+  clock,
+  countDaemons,
+}: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
       operator: { kind: 'loading', failingSince: null },
@@ -205,9 +235,15 @@
     const { feed } = event;
     switch (event.kind) {
       case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(state, readEffect(feed, state[feed]));
+        return toStep<FeedsState, GatewayEffect>(
+          state,
+          readFeed(feed, state[feed], computeScale(countDaemons())),
+        );
       case 'feed-answered': {
-        const step = handleResult(feed, state[feed], event.result, clock.now());
+        const step = handleResult(feed, state[feed], event.result, {
+          now: clock.now(),
+          daemons: countDaemons(),
+        });
         return { state: { ...state, [feed]: step.state }, effects: step.effects };
       }
       default:
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -8,7 +8,7 @@
 export const DRAIN_CHECK_MS = 100;
 
 /** Time before the end of the grace period at which a draining daemon ends. */
-export const GRACE_MARGIN_MS = 250;
+export const GRACE_MARGIN_MS = 500;
 
 /** Time for which closed idle connections may still deliver what was written. */
 export const CLOSE_IDLE_MS = 150;
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -15,6 +15,8 @@
   readonly record: EndpointRecord;
   readonly health: EndpointHealth;
   readonly recordedAt: Millis;
+  /** Instant at which it was learnt to leave; null while it stays. */
+  readonly leavingAt: Millis | null;
   /** Instant of a removal that is held back; null while the registration stands. */
   readonly removedAt: Millis | null;
 }
@@ -26,6 +28,18 @@
   readonly out: Set<DataCentreId>;
 }
 
+/**
+ * Lists the endpoints that were learnt to leave since an instant.
+ *
+ * @param state - endpoints
+ * @param since - instant
+ * @returns their ids
+ */
+export const listLeaving = ({ endpoints }: MembershipState, since: Millis): readonly EndpointId[] =>
+  [...endpoints.values()]
+    .filter(({ leavingAt }) => leavingAt !== null && leavingAt >= since)
+    .map(({ record }) => record.id);
+
 export interface MembershipInputs {
   readonly clock: Clock;
   /** Engines whose state is asked for, since the store does not tell it now. */
@@ -68,7 +82,8 @@
   const known = endpoints.get(record.id);
   const isNew = known === undefined || isNewLife(known, record);
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
-  endpoints.set(record.id, { record, health, recordedAt: now, removedAt: null });
+  const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
+  endpoints.set(record.id, { record, health, recordedAt: now, leavingAt, removedAt: null });
   if (isNew) return [describeEndpoint(record, 'registered')];
   if (known.record.phase === record.phase) return [];
   const leaving = record.phase === 'leaving' ? [notifyLeaving(record.id)] : [];
@@ -187,11 +202,12 @@
   { endpoints }: MembershipState,
   id: EndpointId,
   { phase }: EngineReport,
+  now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
   if (known === undefined || phase === 'ready' || known.record.phase === 'leaving') return [];
   const record = { ...known.record, phase };
-  endpoints.set(id, { ...known, record });
+  endpoints.set(id, { ...known, record, leavingAt: now });
   return [describeEndpoint(record, 'reported'), notifyLeaving(id)];
 };
 
@@ -226,7 +242,7 @@
       case 'reports-due':
         return { state, effects: [...readReports(state, listWatched()), SCHEDULE_REPORTS] };
       case 'report-read':
-        return { state, effects: applyReport(state, event.endpoint, event.report) };
+        return { state, effects: applyReport(state, event.endpoint, event.report, now) };
       case 'removal-due':
         return { state, effects: applyRemoval(state, event.id, event.removedAt) };
       default:
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -10,6 +10,10 @@
 /** Peers that get a report; at larger sizes each daemon reports to a part of the others. */
 export const MAX_REPORT_TARGETS = 16;
 
+/** Endpoints that leave in one report, and how long each is named. */
+export const MAX_NAMED_LEAVING = 16;
+export const LEAVING_REPEAT_MS = 1_500;
+
 /** Hosts named in one report. */
 export const MAX_NAMED_HOSTS = 16;
 
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -19,12 +19,18 @@
 const isCount = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
 
+const isTextList = (value: unknown): boolean =>
+  Array.isArray(value) && value.every((text) => typeof text === 'string');
+
 const isPair = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string';
 
 const isMessage = (value: unknown): value is PeerMessage => {
   if (typeof value !== 'object' || value === null) return false;
-  const { crashes, format, hosts, load, process, transfers } = value as Record<string, unknown>;
+  const { crashes, format, hosts, leaving, load, process, transfers } = value as Record<
+    string,
+    unknown
+  >;
   return (
     format === 1 &&
     typeof process === 'string' &&
@@ -32,8 +38,8 @@
     load.every(isRow) &&
     Array.isArray(transfers) &&
     transfers.every(isCount) &&
-    Array.isArray(hosts) &&
-    hosts.every((host) => typeof host === 'string') &&
+    isTextList(hosts) &&
+    isTextList(leaving) &&
     Array.isArray(crashes) &&
     crashes.every(isPair)
   );
--- /dev/null
+++ b/packages/gateway/peers/peers.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import { PEER_FORGET_MS, PEER_LOAD_AGE_MS } from './constants.js';
+import { countDaemons, createPeersLogic, hasPeerBefore, sumPeerLoad } from './peers.js';
+import { decodePeerMessage } from './peerSocket.js';
+import type { PeerMessage } from './types.js';
+import { createVirtualClock } from '../../core/clock.js';
+import { createRandomSource } from '../../core/random.js';
+import type { GatewayEffect, PeersEvent } from '../events.js';
+
+const MESSAGE: PeerMessage = {
+  format: 1,
+  process: 'gateway-2',
+  load: [['e-1', 2, 500, 100]],
+  transfers: [],
+  leaving: [],
+  hosts: [],
+  crashes: [],
+};
+
+const createHarness = () => {
+  const clock = createVirtualClock(100_000);
+  const crashes: string[] = [];
+  const logic = createPeersLogic({
+    clock,
+    random: createRandomSource(2),
+    process: 'gateway-5',
+    ownHost: '10.0.0.5',
+    getSeeds: () => ['10.0.0.1', '10.0.0.5'],
+    listOwnLoad: () => [['e-9', 1, 50, 0]],
+    listLeaving: () => [],
+    listOwnTransfers: () => [],
+    listCrashes: () => [],
+    addCrash: (fingerprint, endpoint) => crashes.push(`${fingerprint} ${endpoint}`),
+  });
+  let { state } = logic.init();
+  const post = (event: PeersEvent): readonly GatewayEffect[] => {
+    const step = logic.decide(state, event);
+    ({ state } = step);
+    return step.effects;
+  };
+  const hear = (host: string, change: Partial<PeerMessage> = {}) =>
+    post({ to: 'peers', kind: 'peer-heard', host, message: { ...MESSAGE, ...change } });
+  return { clock, crashes, post, hear, getState: () => state };
+};
+
+const findHosts = (effects: readonly GatewayEffect[]): readonly string[] =>
+  effects.flatMap((effect) => (effect.kind === 'send-peers' ? effect.hosts : []));
+
+// Guards against daemons that never find each other, or that talk to themselves.
+test('daemons find each other by seeds and by each other’s reports', (t) => {
+  const harness = createHarness();
+  t.deepEqual(findHosts(harness.post({ to: 'peers', kind: 'report-due' })), ['10.0.0.1']);
+  t.deepEqual(findHosts(harness.hear('10.0.0.2', { hosts: ['10.0.0.3', '10.0.0.5'] })), [
+    '10.0.0.3',
+  ]);
+  t.is(countDaemons(harness.getState()), 2);
+  harness.hear('10.0.0.5');
+  t.is(countDaemons(harness.getState()), 2);
+});
+
+// Guards against the load and the budget share of a daemon that is gone.
+test('a silent peer no longer counts', (t) => {
+  const harness = createHarness();
+  harness.hear('10.0.0.2');
+  const { clock } = harness;
+  t.is(sumPeerLoad(harness.getState(), 'e-1', clock.now()).tokens, 500);
+  clock.advance(PEER_LOAD_AGE_MS + 1);
+  t.is(sumPeerLoad(harness.getState(), 'e-1', clock.now()).tokens, 0);
+  clock.advance(PEER_FORGET_MS);
+  harness.post({ to: 'peers', kind: 'report-due' });
+  t.is(countDaemons(harness.getState()), 1);
+});
+
+// Guards against two daemons that both think it is their turn at an engine, or both wait.
+test('turns follow the names of the daemons', (t) => {
+  const harness = createHarness();
+  const check = (source: string): boolean =>
+    hasPeerBefore(harness.getState(), source, 'gateway-5', harness.clock.now());
+  harness.hear('10.0.0.2', { transfers: [['e-1', 2]] });
+  harness.hear('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 2]] });
+  t.true(check('e-1'));
+  t.false(check('e-2'));
+});
+
+// Guards against crashes and notices that each daemon has to see for itself.
+test('crashes and leaving endpoints of a peer are taken over', (t) => {
+  const harness = createHarness();
+  const effects = harness.hear('10.0.0.2', { crashes: [['f', 'e-1']], leaving: ['e-4'] });
+  t.deepEqual(harness.crashes, ['f e-1']);
+  t.true(
+    effects.some(
+      ({ kind, ...rest }) =>
+        kind === 'post' &&
+        'event' in rest &&
+        rest.event.kind === 'report-read' &&
+        rest.event.endpoint === 'e-4',
+    ),
+  );
+});
+
+// Guards against datagrams of another version or of no daemon at all.
+test('a datagram of another format is left out', (t) => {
+  const encode = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value));
+  t.deepEqual(decodePeerMessage(encode(MESSAGE)), MESSAGE);
+  for (const bad of [
+    { ...MESSAGE, format: 2 },
+    { ...MESSAGE, load: [['e-1', 'x', 0, 0]] },
+    { ...MESSAGE, leaving: undefined },
+    [],
+    'text',
+  ]) {
+    t.is(decodePeerMessage(encode(bad)), null);
+  }
+  t.is(decodePeerMessage(Buffer.from([0xff])), null);
+});
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -1,8 +1,10 @@
 import {
   CRASH_REPEAT_MS,
+  LEAVING_REPEAT_MS,
   MAX_LOAD_ROWS,
   MAX_NAMED_CRASHES,
   MAX_NAMED_HOSTS,
+  MAX_NAMED_LEAVING,
   MAX_REPORT_TARGETS,
   PEER_FORGET_MS,
   PEER_LOAD_AGE_MS,
@@ -34,6 +36,8 @@
   readonly getSeeds: () => readonly string[];
   /** Work of this daemon by endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
+  /** Endpoints that this daemon has learnt to leave since an instant. */
+  readonly listLeaving: (since: Millis) => readonly EndpointId[];
   readonly listOwnTransfers: () => PeerMessage['transfers'];
   /** Crashes that this daemon saw since an instant. */
   readonly listCrashes: (since: Millis) => readonly (readonly [string, string])[];
@@ -106,6 +110,7 @@
   format: 1,
   process: inputs.process,
   transfers: inputs.listOwnTransfers(),
+  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_NAMED_LEAVING),
   load: inputs.listOwnLoad().slice(0, MAX_LOAD_ROWS),
   hosts: [...state.peers.values()].slice(0, MAX_NAMED_HOSTS).map(({ host }) => host),
   crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_NAMED_CRASHES),
@@ -149,6 +154,13 @@
     unknown.length === 0
       ? []
       : [{ kind: 'send-peers', hosts: unknown, message: buildMessage(state, inputs, now) }];
+  for (const endpoint of message.leaving) {
+    const report = { phase: 'leaving' } as const;
+    effects.push({
+      kind: 'post',
+      event: { to: 'membership', kind: 'report-read', endpoint, report },
+    });
+  }
   if (known === undefined) {
     effects.push({
       kind: 'log',
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -15,6 +15,8 @@
   readonly load: readonly LoadRow[];
   /** Generations to be taken from endpoints that leave: endpoint and number. */
   readonly transfers: readonly (readonly [source: string, generations: number])[];
+  /** Endpoints that the sender has lately learnt to leave. */
+  readonly leaving: readonly string[];
   /** Hosts of other daemons that the sender hears. */
   readonly hosts: readonly string[];
   /** Requests whose endpoints crashed: fingerprint and endpoint. */
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -13,7 +13,7 @@
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
 import { listCandidates } from './membership/candidates.js';
-import { createMembershipLogic } from './membership/membership.js';
+import { createMembershipLogic, listLeaving } from './membership/membership.js';
 import { createMovesLogic } from './moves/moves.js';
 import { createCrashReports } from './peers/crashReports.js';
 import type { CrashReports } from './peers/crashReports.js';
@@ -164,6 +164,7 @@
           tokens,
           waitingTokens,
         ]),
+      listLeaving: (since) => listLeaving(states.membership, since),
       listOwnTransfers: () => [...countOwnTransfers(states.requests)],
       listCrashes: crashes.listSince,
       addCrash: crashes.addHeard,
@@ -175,7 +176,7 @@
         states.feeds.registrations.failingSince === null ? [] : listStreaming(states.requests),
     }),
     moves: createMovesLogic(),
-    feeds: createFeedsLogic(clock),
+    feeds: createFeedsLogic({ clock, countDaemons: () => countDaemons(states.peers) }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
