--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -73,6 +73,8 @@
     incoming.on('error', () => undefined);
   });
 
+const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+
 const TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
 const NO_ROOM = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
 const SHED = createFailure('not-run', 'overloaded', 'too many events wait', 200);
@@ -127,8 +129,10 @@
     },
   );
   server.on('clientError', (error, socket) => {
-    responders.countBadCaller(error);
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    // A connection that broke is told by the end of its request; only bytes can be unreadable.
+    const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
+    if (isUnreadable) responders.countBadCaller(error);
+    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST);
     else socket.destroy();
   });
 
