--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -131,7 +131,7 @@
   server.on('clientError', (error, socket) => {
     // A connection that broke is told by the end of its request; only bytes can be unreadable.
     const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
-    if (isUnreadable) responders.countBadCaller(error);
+    if (isUnreadable) responders.reportUnreadable(error);
     if (isUnreadable && socket.writable) socket.end(BAD_REQUEST);
     else socket.destroy();
   });
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -25,7 +25,7 @@
   readonly failAll: (failure: Failure) => void;
   /** Marks all further answers as the last of their connections. */
   readonly startDrain: () => void;
-  readonly countBadCaller: (error: Error) => void;
+  readonly reportUnreadable: (error: Error) => void;
 }
 
 /**
@@ -137,6 +137,6 @@
     startDrain: () => {
       phase = 'draining';
     },
-    countBadCaller: onBadCaller,
+    reportUnreadable: onBadCaller,
   };
 };
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -176,7 +176,7 @@
   t.deepEqual(findEffect(shown, 'write-answer')?.bytes, Buffer.from(buildEvents(1, 3)));
   const second = getOrder(fail(harness, first));
   t.is(second.head.lastEventId, '3');
-  t.deepEqual(second.head.copy, { address: second.address, handle: 'backup' });
+  t.deepEqual(second.head.copy, { kind: 'backup', address: second.address });
   t.deepEqual(second.address, first.head.backup);
   start(harness, second);
   const rest = harness.post({
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -124,7 +124,7 @@
   const { route } = forwarding;
   const { backup } = attempt;
   if (backup !== null && takeBudget(forwarding, context) === 'taken') {
-    const copy = { address: backup.address, handle: 'backup' };
+    const copy = { kind: 'backup', address: backup.address } as const;
     const continued = continueFromCopy(forwarding, backup, copy, context);
     if (continued !== null) return continued;
   }
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -64,7 +64,7 @@
   const effects = endStep(harness, order, COPIED);
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, copy?.order.target);
-  t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-1' });
+  t.deepEqual(next?.head.copy, { kind: 'transfer', address: order.address, handle: 'h-1' });
   t.is(next?.head.lastEventId, '9');
 });
 
@@ -110,7 +110,7 @@
   const effects = endStep(harness, order, { kind: 'no-room', handle: 'h-2' });
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, order.address);
-  t.deepEqual(next?.head.copy, { address: order.address, handle: 'h-2' });
+  t.deepEqual(next?.head.copy, { kind: 'transfer', address: order.address, handle: 'h-2' });
 });
 
 // Guards against a caller that waits for a stream whose source stopped and whose transfer failed.
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -211,7 +211,7 @@
       attempt.transfer = { ...transfer, phase: 'stopping' };
       return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
     case 'stopping': {
-      const copy = { address: attempt.endpoint.address, handle };
+      const copy = { kind: 'transfer', address: attempt.endpoint.address, handle } as const;
       const described = describeTransfer(run, 'moved', target);
       return [described, ...releaseTurn(run), ...resumeFromCopy(run, target, copy, context)];
     }
@@ -278,7 +278,7 @@
         ...resumeFromCopy(
           run,
           attempt.endpoint,
-          { address: attempt.endpoint.address, handle: result.handle },
+          { kind: 'transfer', address: attempt.endpoint.address, handle: result.handle },
           context,
         ),
       ];
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -102,11 +102,11 @@
 }
 
 /** Name of a copy of a generation's memory. */
-export interface CopyName {
-  readonly address: EndpointAddress;
-  /** `backup`: kept under the request's own id; else the name that a transfer gave. */
-  readonly handle: string | 'backup';
-}
+export type CopyName =
+  /** Kept at an endpoint under the request's own id. */
+  | { readonly kind: 'backup'; readonly address: EndpointAddress }
+  /** Made by a transfer; the address is that of its source. */
+  | { readonly kind: 'transfer'; readonly address: EndpointAddress; readonly handle: string };
 
 /** How an order to copy a running generation to another endpoint ended. */
 export type TransferResult =
