Take on only what a draining gateway can finish

Change: 2.6 s after the order to stop, single-run generations and calls that need more than the time left are refused as not run, with a time to come back.

--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -5,12 +5,13 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { FrontendEvent, GatewayEffect } from '../events.js';
+import type { DrainTimes } from '../requests/types.js';
 
 /** Whether the daemon stays or is on its way out. */
 export type GateState =
   | { readonly phase: 'accepting' }
-  | { readonly phase: 'draining'; readonly since: Millis }
-  | { readonly phase: 'closing'; readonly since: Millis };
+  | { readonly phase: 'draining'; readonly drainedAt: Millis }
+  | { readonly phase: 'closing'; readonly drainedAt: Millis; readonly closedAt: Millis };
 
 export interface GateInputs {
   readonly clock: Clock;
@@ -19,6 +20,20 @@
   readonly countOpen: () => number;
 }
 
+/**
+ * Tells where a daemon is in its drain.
+ *
+ * @param state - phase of the daemon
+ * @param now - current instant
+ * @param graceMs - time from the order to stop until the process is killed
+ * @returns the times, or null while the daemon stays
+ */
+export const computeDrain = (state: GateState, now: Millis, graceMs: Millis): DrainTimes | null => {
+  if (state.phase === 'accepting') return null;
+  const drainedMs = now - state.drainedAt;
+  return { drainedMs, leftMs: graceMs - GRACE_MARGIN_MS - drainedMs };
+};
+
 const CHECK: GatewayEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
@@ -32,18 +47,18 @@
     case 'accepting':
       return toStep<GateState, GatewayEffect>(state);
     case 'draining': {
-      const drainedMs = now - state.since;
+      const drainedMs = now - state.drainedAt;
       const isDone = left === 0 && drainedMs >= DRAIN_MIN_MS;
       const isOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
       if (!isDone && !isOver) return toStep<GateState, GatewayEffect>(state, CHECK);
       return toStep<GateState, GatewayEffect>(
-        { phase: 'closing', since: now },
+        { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
         CHECK,
       );
     }
     case 'closing':
-      return now - state.since < CLOSE_IDLE_MS
+      return now - state.closedAt < CLOSE_IDLE_MS
         ? toStep<GateState, GatewayEffect>(state, CHECK)
         : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
     default:
@@ -73,7 +88,7 @@
         if (state.phase !== 'accepting') return toStep<GateState, GatewayEffect>(state);
         const data = { open: inputs.countOpen(), graceMs: inputs.getGraceMs() };
         return toStep<GateState, GatewayEffect>(
-          { phase: 'draining', since: inputs.clock.now() },
+          { phase: 'draining', drainedAt: inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
           CHECK,
         );
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -22,6 +22,19 @@
 /** Largest whole answer that is kept until its end has come. */
 export const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
 
+/**
+ * Time of a drain in which generations are still taken on; new connections no longer come after two
+ * missed questions for readiness.
+ */
+export const DRAIN_ACCEPT_MS = 2_600;
+
+/** Targets that a call may take, and time on top, for it to be taken on late in a drain. */
+export const DRAIN_TARGETS = 2;
+export const DRAIN_SPARE_MS = 200;
+
+/** Time after which a caller that a draining daemon refused may come back, to another daemon. */
+export const DRAIN_RETRY_MS = 50;
+
 /** Requests in progress above which new ones are refused. */
 export const MAX_REQUESTS = 4_000;
 
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -1,5 +1,5 @@
 import { createRequestsLogic } from './requests.js';
-import type { RequestsInputs } from './types.js';
+import type { DrainTimes, RequestsInputs } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
 import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
@@ -35,6 +35,7 @@
   readonly wait: (duration: number) => readonly GatewayEffect[];
   readonly countOpen: () => number;
   readonly setConfigured: (state: 'yes' | 'no') => void;
+  readonly setDrain: (drain: DrainTimes | null) => void;
 }
 
 interface Timer {
@@ -63,6 +64,7 @@
   const peersBefore = new Set<string>();
   const table = buildRoutingTable(CONFIGURATION);
   let configured: 'yes' | 'no' = 'yes';
+  let drain: DrainTimes | null = null;
   let timers: Timer[] = [];
   let nextKey = 1;
   const logic = createRequestsLogic({
@@ -74,6 +76,7 @@
         .filter((record) => record.service === service)
         .map((record) => buildCandidate(record)),
     countDaemons: () => 1,
+    getDrain: () => drain,
     hasPeerBefore: (source) => peersBefore.has(source),
     getLive: () => ({
       seeds: [],
@@ -136,6 +139,9 @@
       return effects;
     },
     countOpen: () => state.table.size,
+    setDrain: (next) => {
+      drain = next;
+    },
     setConfigured: (next) => {
       configured = next;
     },
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -261,3 +261,18 @@
   t.is(failure?.verdict, 'not-run');
   t.true((failure?.retryAfterMs ?? 0) > 0);
 });
+
+// Guards against a generation that a draining daemon takes on though it will end before it does.
+test('a draining daemon takes on only what it can finish', (t) => {
+  const harness = createRequestsHarness();
+  harness.setDrain({ drainedMs: 1_000, leftMs: 6_500 });
+  t.is(findOrders(harness.arrive('/memo/1')).length, 1);
+  harness.setDrain({ drainedMs: 5_000, leftMs: 2_500 });
+  const late = findEffect(harness.arrive('/memo/2'), 'refuse')?.failure;
+  t.is(late?.code, 'draining');
+  t.is(late?.verdict, 'not-run');
+  t.true((late?.retryAfterMs ?? 0) > 0);
+  t.is(findOrders(harness.arrive('/sweep/1')).length, 1);
+  harness.setDrain({ drainedMs: 7_200, leftMs: 300 });
+  t.is(findEffect(harness.arrive('/sweep/2'), 'refuse')?.failure.code, 'draining');
+});
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,6 +1,14 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
 import { cancelAttempts, computeSilence, placeRequest } from './attempts.js';
-import { MAX_REQUESTS, UNREADY_RETRY_MAX_MS, UNREADY_RETRY_SHARE } from './constants.js';
+import {
+  DRAIN_ACCEPT_MS,
+  DRAIN_RETRY_MS,
+  DRAIN_SPARE_MS,
+  DRAIN_TARGETS,
+  MAX_REQUESTS,
+  UNREADY_RETRY_MAX_MS,
+  UNREADY_RETRY_SHARE,
+} from './constants.js';
 import { checkStopped, endTransferStep, clearEndpoint, takeTurn } from './transfers.js';
 import { endAttempt, expireRequest, getBudget, sendHedge } from './retrying.js';
 import type {
@@ -48,6 +56,18 @@
   return name === null ? null : (inputs.getTable()?.services.get(name) ?? null);
 };
 
+/**
+ * Tells whether a daemon that drains can finish a request. A long generation is not taken on once
+ * the balancer sends no more connections, as it would be cut off with the process.
+ */
+const isBeyondDrain = (route: Route, { getDrain }: RequestsInputs): boolean => {
+  const drain = getDrain();
+  if (drain === null || drain.drainedMs < DRAIN_ACCEPT_MS) return false;
+  const isLong = route.answer === 'stream' && route.resume === 'single-run';
+  const neededMs = Math.min(route.timeoutMs, route.targetMs * DRAIN_TARGETS + DRAIN_SPARE_MS);
+  return isLong || neededMs > drain.leftMs;
+};
+
 const createForwarding = (
   request: ForwardRequest,
   route: Route,
@@ -93,6 +113,11 @@
       return assertNever(found);
   }
   const { customer, route } = found;
+  if (isBeyondDrain(route, inputs)) {
+    const retryAfterMs = DRAIN_RETRY_MS;
+    const message = 'the daemon ends before the answer could';
+    return refuseArrival(request, createFailure('not-run', 'draining', message, retryAfterMs));
+  }
   const service = findTarget(route, inputs);
   if (service === null) return refuseUnready(request, 'the route has no service');
   if (state.table.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -104,6 +104,14 @@
   readonly coldSends: Map<EndpointId, readonly Millis[]>;
 }
 
+/** Where a daemon is in its drain. */
+export interface DrainTimes {
+  /** Time since the order to stop. */
+  readonly drainedMs: Millis;
+  /** Time until the daemon ends at the latest. */
+  readonly leftMs: Millis;
+}
+
 /** What the decisions on requests read of the rest of the daemon. */
 export interface RequestsInputs {
   readonly clock: Clock;
@@ -111,6 +119,8 @@
   readonly getTable: () => RoutingTable | null;
   readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
   readonly countDaemons: () => number;
+  /** Null while the daemon stays. */
+  readonly getDrain: () => DrainTimes | null;
   /** Whether a daemon that goes first has generations to take from an endpoint. */
   readonly hasPeerBefore: (source: EndpointId) => boolean;
   readonly getLive: () => LiveSettings;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -9,7 +9,7 @@
 import { createFeedsLogic } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
-import { createGateLogic } from './frontend/gate.js';
+import { computeDrain, createGateLogic } from './frontend/gate.js';
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
 import { listCandidates } from './membership/candidates.js';
@@ -145,6 +145,7 @@
       getTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
+      getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
       hasPeerBefore: (source) => hasPeerBefore(states.peers, source, settings.process, clock.now()),
       getLive: () => live.current,
       crashes: crashes.table,
