--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -4,7 +4,7 @@
 /** Part of the shared retry budget that is used; the rest covers peers that were not counted. */
 export const BUDGET_USE = 0.8;
 
-/** Longest time without a byte that an answer or a connection attempt may take to open, in ms. */
+/** Time in which a connection to an endpoint has to be made. */
 export const CONNECT_TIMEOUT_MS = 250;
 
 /** Largest event of a stream that is kept until its end has come. */
