--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -33,3 +33,6 @@
 
 /** Pause of an endpoint that refused for want of room, before it is offered more. */
 export const FULL_PAUSE_MS = 40;
+
+/** Weight of an output token in the worth of a generation, against a token of its prompt. */
+export const OUTPUT_TOKEN_WORTH = 10;
--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeForward.test.ts
@@ -135,3 +135,15 @@
   ];
   t.is(placeTransfer(candidates, QUESTION, runner, random)?.record.id, 'e-2');
 });
+
+// Guards against a generation that is given up although an engine may have room: the memory in use
+// is an estimate.
+test('a transfer without a target that has room goes to the least crowded one', (t) => {
+  const runner = buildEndpoint('e-1');
+  const candidates = [9_900, 9_400].map((tokens, index) =>
+    buildCandidate(buildEndpoint(`e-${(index + 2).toString()}`), {
+      load: { requests: 4, tokens, waitingTokens: 0 },
+    }),
+  );
+  t.is(placeTransfer(candidates, QUESTION, runner, random)?.record.id, 'e-3');
+});
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -50,21 +50,27 @@
 const WAITING_COST = 3;
 
 /** Share of an engine's memory that copies of the shortest generations may fill. */
-const SHORT_BACKUP_SHARE = 0.6;
+const SHORT_BACKUP_SHARE = 0.35;
 
 /** What is added to that share for a generation of `LONG_OUTPUT_TOKENS`. */
-const LONG_BACKUP_SHARE = 0.32;
+const LONG_BACKUP_SHARE = 0.15;
 
 /** Output from which a generation is long: it is worth most, and is most likely to need its copy. */
 const LONG_OUTPUT_TOKENS = 1_000;
 
-/** Share of all engines' memory in use above which no more copies are made. */
-const COPY_AVERAGE_SHARE = 0.6;
-
-/** Share of an engine's memory up to which running generations are taken over. */
-const TRANSFER_SHARE = 1;
+/**
+ * Share of all engines' memory in use above which no more copies are made. Copies in memory that
+ * running generations need soon cost more of them, by preemptions, than they save.
+ */
+const COPY_AVERAGE_SHARE = 0.35;
 
-const estimateOutput = (demand: GenerationDemand): number =>
+/**
+ * Estimates the output of a generation.
+ *
+ * @param demand - the caller's estimate and bound
+ * @returns tokens
+ */
+export const estimateOutput = (demand: GenerationDemand): number =>
   Math.min(demand.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS, demand.maxOutputTokens);
 
 /**
@@ -225,6 +231,22 @@
   return chooseLowest(apart.length > 0 ? apart : withRoom, question, random);
 };
 
+/** Targets with room, or any: an engine without room says so at once. */
+const listTargets = (
+  candidates: readonly Candidate[],
+  question: PlacementQuestion,
+  runner: EndpointRecord,
+): readonly Candidate[] => {
+  const { demand, service } = question;
+  if (service.engine === null || demand === null) return [];
+  const room = service.engine.memoryTokens - demand.promptTokens;
+  const usable = candidates.filter(
+    (candidate) => isUsable(candidate, question) && candidate.record.id !== runner.id,
+  );
+  const withRoom = usable.filter(({ load }) => load.tokens <= room);
+  return withRoom.length > 0 ? withRoom : usable;
+};
+
 /**
  * Chooses the endpoint that takes over a running generation: one with room, in the same data centre
  * if possible, since a transfer within it takes half the time.
@@ -233,7 +255,7 @@
  * @param question - what the generation asks for
  * @param runner - endpoint that runs it
  * @param random - source of chance
- * @returns the endpoint, or null when none has room
+ * @returns the endpoint, or null when there is none
  */
 export const placeTransfer = (
   candidates: readonly Candidate[],
@@ -242,7 +264,7 @@
   random: RandomSource,
 ): Candidate | null => {
   if (question.service.engine?.moves !== 'supported') return null;
-  const withRoom = listWithRoom(candidates, question, runner, TRANSFER_SHARE);
-  const near = withRoom.filter(({ record }) => record.dataCentre === runner.dataCentre);
-  return chooseLowest(near.length > 0 ? near : withRoom, question, random);
+  const targets = listTargets(candidates, question, runner);
+  const near = targets.filter(({ record }) => record.dataCentre === runner.dataCentre);
+  return chooseLowest(near.length > 0 ? near : targets, question, random);
 };
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -6,6 +6,7 @@
   FeedResult,
   MoveOrder,
   RecordChange,
+  RemovalTrust,
   TransferOrder,
   TransferResult,
 } from './types.js';
@@ -46,8 +47,7 @@
       readonly kind: 'registrations-changed';
       readonly changes: readonly RecordChange[];
       readonly scope: 'all' | 'changed';
-      /** Whether a removal may only mean that the store was away. */
-      readonly removals: 'certain' | 'doubtful';
+      readonly removals: RemovalTrust;
     }
   | {
       readonly kind: 'data-centres-changed';
@@ -169,6 +169,11 @@
       readonly attempt: number;
       readonly order: TransferOrder;
     }
+  | {
+      readonly kind: 'release-copy';
+      readonly address: EndpointAddress;
+      readonly handle: string;
+    }
   | {
       readonly kind: 'read-report';
       readonly endpoint: EndpointId;
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -34,3 +34,9 @@
 
 /** Time after the store's return within which lapsed registrations are back. */
 export const RETURN_GRACE_MS = 2_500;
+
+/**
+ * Silence of the registrations, beyond the pause between reads, after which the store may be away:
+ * the endpoints together write several times in it.
+ */
+export const FEED_SILENCE_MS = 400;
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import { RETURN_GRACE_MS } from './constants.js';
-import { createFeedsLogic } from './feeds.js';
+import { FEED_PAUSE_MS, FEED_SILENCE_MS, RETURN_GRACE_MS } from './constants.js';
+import { createFeedsLogic, isFeedStale } from './feeds.js';
 import type { FeedsState } from './feeds.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
@@ -54,7 +54,7 @@
   const effects = harness.answer('registrations', { kind: 'expired' });
   t.deepEqual(effects.at(-1), { kind: 'load-feed', feed: 'registrations' });
   const reloaded = harness.answer('registrations', { kind: 'loaded', changes: [], position: 6 });
-  t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: 'certain' });
+  t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: { kind: 'certain' } });
 });
 
 // Guards against endpoints that are given up because their entries lapsed with the store.
@@ -66,11 +66,24 @@
   t.false(harness.answer('registrations', FAILED).some(({ kind }) => kind === 'log'));
   harness.clock.advance(5_000);
   const back = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 5 });
-  t.is(findRegistrations(back)[0]?.removals, 'doubtful');
+  t.deepEqual(findRegistrations(back)[0]?.removals, { kind: 'doubtful', since: 6_000 });
   t.true(back.some((effect) => effect.kind === 'log' && effect.name === 'log-available'));
   harness.clock.advance(RETURN_GRACE_MS);
   const later = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 6 });
-  t.is(findRegistrations(later)[0]?.removals, 'certain');
+  t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
+});
+
+// Guards against notices that nobody sees because the store fell silent without an error.
+test('a read that waits although endpoints write all the time is suspicious', (t) => {
+  const harness = createHarness();
+  const check = (): boolean =>
+    isFeedStale(harness.getState().registrations, harness.clock.now(), 4);
+  t.true(check());
+  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
+  harness.clock.advance(FEED_PAUSE_MS.registrations + FEED_SILENCE_MS);
+  t.false(check());
+  harness.clock.advance(1);
+  t.true(check());
 });
 
 // Guards against a price for each registration: they come about once a second from each endpoint.
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -2,6 +2,7 @@
   FEED_DAEMONS,
   FEED_PAUSE_MS,
   FEED_RETRY_MS,
+  FEED_SILENCE_MS,
   FEED_WAIT_MS,
   MAX_FEED_PAUSE_MS,
   MAX_FEED_WAIT_MS,
@@ -13,7 +14,7 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
-import type { FeedName, FeedResult, RecordChange } from '../types.js';
+import type { FeedName, FeedResult, RecordChange, RemovalTrust } from '../types.js';
 
 /** Where this daemon is in one stream of records. */
 export type FeedState =
@@ -57,6 +58,23 @@
 /** All daemons read the same records at a price, and tell each other which endpoints leave. */
 const computeScale = (daemons: number): number => Math.max(1, daemons / FEED_DAEMONS);
 
+const computePause = (feed: FeedName, daemons: number): Millis =>
+  Math.min(FEED_PAUSE_MS[feed] * computeScale(daemons), MAX_FEED_PAUSE_MS);
+
+/**
+ * Tells whether a feed may hide what happened: its last read failed, or has been waiting although
+ * endpoints write all the time. An outage in which the store falls silent shows here first.
+ *
+ * @param state - state of the feed of registrations
+ * @param now - current instant
+ * @param daemons - daemons that read the same records
+ * @returns whether the records may be behind
+ */
+export const isFeedStale = (state: FeedState, now: Millis, daemons: number): boolean =>
+  state.kind === 'loading' ||
+  state.failingSince !== null ||
+  now - state.readAt > computePause('registrations', daemons) + FEED_SILENCE_MS;
+
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
     change.kind === 'unreadable'
@@ -101,7 +119,7 @@
   feed: FeedName,
   changes: readonly RecordChange[],
   scope: Scope,
-  removals: 'certain' | 'doubtful',
+  removals: RemovalTrust,
 ): GatewayEffect[] => {
   if (changes.length === 0 && scope === 'changed') return [];
   const unreadable = describeUnreadable(feed, changes);
@@ -147,7 +165,10 @@
   const scale = computeScale(daemons);
   const doubtUntil = computeDoubt(state, now);
   const scope = result.kind === 'loaded' ? 'all' : 'changed';
-  const removals = now < doubtUntil ? 'doubtful' : 'certain';
+  const removals: RemovalTrust =
+    now < doubtUntil
+      ? { kind: 'doubtful', since: doubtUntil - RETURN_GRACE_MS }
+      : { kind: 'certain' };
   const next: FeedState = {
     kind: 'following',
     position: result.position,
@@ -155,8 +176,7 @@
     readAt: now,
     doubtUntil,
   };
-  const pauseMs =
-    result.changes.length === 0 ? 0 : Math.min(FEED_PAUSE_MS[feed] * scale, MAX_FEED_PAUSE_MS);
+  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, daemons);
   return {
     state: next,
     effects: [
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -29,7 +29,7 @@
           host: '10.0.0.2',
           heardAt: 1_000,
           message: {
-            format: 1 as const,
+            format: 2 as const,
             process: 'p-2',
             load: [['e-1', 3, 900, 100] as const],
             transfers: [],
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,10 +1,12 @@
 import test from 'ava';
-import { DOUBTFUL_REMOVAL_MS } from './constants.js';
+import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS } from './constants.js';
 import { createMembershipLogic } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { RecordChange } from '../types.js';
+import type { RecordChange, RemovalTrust } from '../types.js';
+
+const CERTAIN: RemovalTrust = { kind: 'certain' };
 
 const createHarness = (watched: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
@@ -18,7 +20,7 @@
   const change = (
     changes: readonly RecordChange[],
     scope: 'all' | 'changed' = 'changed',
-    removals: 'certain' | 'doubtful' = 'certain',
+    removals: RemovalTrust = CERTAIN,
   ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
   return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
 };
@@ -45,8 +47,9 @@
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
-  const [timer] = harness.change([removal], 'changed', 'doubtful');
-  harness.change([{ ...removal, id: 'e-2' }], 'changed', 'doubtful');
+  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
+  const [timer] = harness.change([removal], 'changed', doubtful);
+  harness.change([{ ...removal, id: 'e-2' }], 'changed', doubtful);
   t.deepEqual(harness.list(), ['e-1', 'e-2']);
   t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, DOUBTFUL_REMOVAL_MS);
   harness.change([register('e-2')]);
@@ -55,6 +58,42 @@
   t.deepEqual(harness.list(), ['e-2']);
 });
 
+// Guards against generations that stay on an endpoint which was back after an outage of the store and
+// then left: its removal is no lapse.
+test('the removal of a registration that was renewed after the outage is certain', (t) => {
+  const harness = createHarness();
+  harness.clock.advance(500);
+  harness.change([register('e-1')]);
+  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_200 };
+  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  t.true(hasLeavingNotice(effects));
+  t.deepEqual(harness.list(), []);
+});
+
+// Guards against generations that stay on an endpoint whose entry did not come back.
+test('an endpoint that is not back in time is announced as leaving', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  const due = { to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 } as const;
+  t.true(hasLeavingNotice(harness.post(due)));
+});
+
+// Guards against new work for an engine that leaves: a registration written before its report is
+// read after it.
+test('an older registration does not take a report back', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  const report = { phase: 'leaving' } as const;
+  harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
+  harness.change([register('e-1')]);
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
+  harness.clock.advance(LEAVING_HOLD_MS);
+  harness.change([register('e-1')]);
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
+});
+
 // Guards against endpoints that stay for ever when their removal was not read.
 test('a load replaces what was known', (t) => {
   const harness = createHarness();
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,4 +1,4 @@
-import { DOUBTFUL_REMOVAL_MS, REPORTS_INTERVAL_MS } from './constants.js';
+import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS, REPORTS_INTERVAL_MS } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
@@ -8,7 +8,7 @@
 import type { AttemptSign, EndpointHealth } from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { EngineReport, RecordChange } from '../types.js';
+import type { EngineReport, RecordChange, RemovalTrust } from '../types.js';
 
 /** One endpoint with what this daemon has seen of it. */
 export interface KnownEndpoint {
@@ -74,13 +74,22 @@
   known.record.address.host !== record.address.host ||
   known.record.address.port !== record.address.port;
 
+/**
+ * A registration that was written before an engine reported that it leaves does not take the report
+ * back. A report may be that of an earlier life, so it does not hold for good.
+ */
+const isOlderThanReport = (known: KnownEndpoint, now: Millis): boolean =>
+  known.leavingAt !== null && now - known.leavingAt < LEAVING_HOLD_MS;
+
 const registerEndpoint = (
   { endpoints }: MembershipState,
-  record: EndpointRecord,
+  registered: EndpointRecord,
   now: Millis,
 ): Effects => {
-  const known = endpoints.get(record.id);
-  const isNew = known === undefined || isNewLife(known, record);
+  const known = endpoints.get(registered.id);
+  const isNew = known === undefined || isNewLife(known, registered);
+  const isLeaving = !isNew && isOlderThanReport(known, now);
+  const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
   endpoints.set(record.id, { record, health, recordedAt: now, leavingAt, removedAt: null });
@@ -90,15 +99,26 @@
   return [describeEndpoint(record, 'phase'), ...leaving];
 };
 
+const isCertain = ({ record, recordedAt }: KnownEndpoint, removals: RemovalTrust): boolean => {
+  switch (removals.kind) {
+    case 'certain':
+      return true;
+    case 'doubtful':
+      return record.phase === 'leaving' || recordedAt > removals.since;
+    default:
+      return assertNever(removals);
+  }
+};
+
 const removeEndpoint = (
   { endpoints }: MembershipState,
   id: EndpointId,
-  removals: 'certain' | 'doubtful',
+  removals: RemovalTrust,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (removals === 'certain' || known.record.phase === 'leaving') {
+  if (isCertain(known, removals)) {
     endpoints.delete(id);
     return [describeEndpoint(known.record, 'removed'), notifyLeaving(id)];
   }
@@ -189,7 +209,7 @@
   const known = state.endpoints.get(id);
   if (known === undefined || known.removedAt !== removedAt) return [];
   state.endpoints.delete(id);
-  return [describeEndpoint(known.record, 'removed')];
+  return [describeEndpoint(known.record, 'removed'), notifyLeaving(id)];
 };
 
 const readReports = ({ endpoints }: MembershipState, watched: readonly EndpointId[]): Effects =>
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -4,6 +4,9 @@
 /** Age from which the load of a peer no longer counts. */
 export const PEER_LOAD_AGE_MS = 1_500;
 
+/** Age from which a peer no longer holds up the transfers of others: it has missed several reports. */
+export const PEER_TURN_AGE_MS = 320;
+
 /** Age from which a peer no longer counts as one that shares a budget. */
 export const PEER_FORGET_MS = 15_000;
 
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -32,7 +32,7 @@
     unknown
   >;
   return (
-    format === 1 &&
+    format === 2 &&
     typeof process === 'string' &&
     Array.isArray(load) &&
     load.every(isRow) &&
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { PEER_FORGET_MS, PEER_LOAD_AGE_MS } from './constants.js';
+import { PEER_FORGET_MS, PEER_LOAD_AGE_MS, PEER_TURN_AGE_MS } from './constants.js';
 import { countDaemons, createPeersLogic, hasPeerBefore, sumPeerLoad } from './peers.js';
 import { decodePeerMessage } from './peerSocket.js';
 import type { PeerMessage } from './types.js';
@@ -8,7 +8,7 @@
 import type { GatewayEffect, PeersEvent } from '../events.js';
 
 const MESSAGE: PeerMessage = {
-  format: 1,
+  format: 2,
   process: 'gateway-2',
   load: [['e-1', 2, 500, 100]],
   transfers: [],
@@ -71,15 +71,28 @@
   t.is(countDaemons(harness.getState()), 1);
 });
 
-// Guards against two daemons that both think it is their turn at an engine, or both wait.
-test('turns follow the names of the daemons', (t) => {
+// Guards against two daemons that both think it is their turn at an engine, or both wait, and against
+// generations of little worth that use up the notice.
+test('turns follow the worth of the generations, and the names between equals', (t) => {
   const harness = createHarness();
-  const check = (source: string): boolean =>
-    hasPeerBefore(harness.getState(), source, 'gateway-5', harness.clock.now());
-  harness.hear('10.0.0.2', { transfers: [['e-1', 2]] });
-  harness.hear('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 2]] });
-  t.true(check('e-1'));
-  t.false(check('e-2'));
+  const check = (source: string, worth: number): boolean =>
+    hasPeerBefore(harness.getState(), { source, worth, process: 'gateway-5' }, harness.clock.now());
+  harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
+  harness.hear('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 700]] });
+  t.true(check('e-1', 600));
+  t.false(check('e-1', 800));
+  t.true(check('e-1', 700));
+  t.false(check('e-2', 700));
+  t.true(check('e-2', 600));
+});
+
+// Guards against a notice that is spent on waiting for a daemon that is gone.
+test('a silent peer does not hold up the transfers of others', (t) => {
+  const harness = createHarness();
+  harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
+  harness.clock.advance(PEER_TURN_AGE_MS + 1);
+  const turn = { source: 'e-1', worth: 600, process: 'gateway-5' };
+  t.false(hasPeerBefore(harness.getState(), turn, harness.clock.now()));
 });
 
 // Guards against crashes and notices that each daemon has to see for itself.
@@ -103,7 +116,7 @@
   const encode = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value));
   t.deepEqual(decodePeerMessage(encode(MESSAGE)), MESSAGE);
   for (const bad of [
-    { ...MESSAGE, format: 2 },
+    { ...MESSAGE, format: 1 },
     { ...MESSAGE, load: [['e-1', 'x', 0, 0]] },
     { ...MESSAGE, leaving: undefined },
     [],
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -8,6 +8,7 @@
   MAX_REPORT_TARGETS,
   PEER_FORGET_MS,
   PEER_LOAD_AGE_MS,
+  PEER_TURN_AGE_MS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
 } from './constants.js';
@@ -59,33 +60,38 @@
     if (now - heardAt > PEER_LOAD_AGE_MS) continue;
     for (const row of message.load) {
       if (row[0] !== endpoint) continue;
-      sum = addLoads(sum, { requests: row[1], tokens: row[2], waitingTokens: row[3] });
+      const [, requests, tokens, waitingTokens] = row;
+      sum = addLoads(sum, { requests, tokens, waitingTokens });
     }
   }
   return sum;
 };
 
+/** A daemon's next generation to take from an endpoint that leaves. */
+export interface TransferTurn {
+  readonly source: EndpointId;
+  readonly worth: number;
+  readonly process: string;
+}
+
 /**
- * Tells whether a daemon that goes first has generations to take from an endpoint. The order is
- * that of the names, so that all daemons agree on it without a message.
+ * Tells whether another daemon's generation goes first. The one with most worth does, as some may
+ * be lost; the names decide between equals, so that all daemons agree.
  *
  * @param state - peers as they were last heard
- * @param source - endpoint that leaves
- * @param process - name of this daemon
+ * @param turn - this daemon's next generation
  * @param now - current instant; older reports do not count
  * @returns whether this daemon has to wait
  */
-export const hasPeerBefore = (
-  state: PeersState,
-  source: EndpointId,
-  process: string,
-  now: Millis,
-): boolean =>
+export const hasPeerBefore = (state: PeersState, turn: TransferTurn, now: Millis): boolean =>
   [...state.peers.values()].some(
     ({ heardAt, message }) =>
-      now - heardAt <= PEER_LOAD_AGE_MS &&
-      message.process < process &&
-      message.transfers.some(([endpoint, generations]) => endpoint === source && generations > 0),
+      now - heardAt <= PEER_TURN_AGE_MS &&
+      message.transfers.some(
+        ([source, worth]) =>
+          source === turn.source &&
+          (worth > turn.worth || (worth === turn.worth && message.process < turn.process)),
+      ),
   );
 
 /**
@@ -107,7 +113,7 @@
 };
 
 const buildMessage = (state: PeersState, inputs: PeersInputs, now: Millis): PeerMessage => ({
-  format: 1,
+  format: 2,
   process: inputs.process,
   transfers: inputs.listOwnTransfers(),
   leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_NAMED_LEAVING),
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -10,11 +10,11 @@
 
 /** What one gateway daemon tells the others a few times a second. */
 export interface PeerMessage {
-  readonly format: 1;
+  readonly format: 2;
   readonly process: string;
   readonly load: readonly LoadRow[];
-  /** Generations to be taken from endpoints that leave: endpoint and number. */
-  readonly transfers: readonly (readonly [source: string, generations: number])[];
+  /** Endpoints that leave and still run generations to be taken elsewhere, with the greatest worth. */
+  readonly transfers: readonly (readonly [source: string, worth: number])[];
   /** Endpoints that the sender has lately learnt to leave. */
   readonly leaving: readonly string[];
   /** Hosts of other daemons that the sender hears. */
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -66,7 +66,7 @@
  * @param adapters - adapters of the daemon
  */
 export const performEffect = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
-  const { callers, endpoints, events, feeds, loop, metrics, peers, responders } = adapters;
+  const { callers, endpoints, engines, events, feeds, loop, metrics, peers, responders } = adapters;
   switch (effect.kind) {
     case 'post':
       loop().post(effect.event);
@@ -101,6 +101,9 @@
     case 'start-transfer':
       startTransfer(effect, adapters);
       return;
+    case 'release-copy':
+      void engines.releaseCopy(effect.address, effect.handle);
+      return;
     case 'cancel-attempt':
       endpoints.cancel(effect.key, effect.attempt);
       return;
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -1,4 +1,5 @@
 import { cancelAttempts } from './attempts.js';
+import { releaseCopy } from './generationCopy.js';
 import { MAX_WHOLE_BYTES } from './constants.js';
 import { finishStream, sendKept } from './outcomes.js';
 import { endAttempt } from './retrying.js';
@@ -145,7 +146,7 @@
     ? writeEvents(forwarding, attempt, [{ bytes: rest, id: null }], context)
     : [];
   forwarding.attempts.delete(attempt.number);
-  const others = cancelAttempts(forwarding);
+  const others = [...releaseCopy(attempt), ...cancelAttempts(forwarding)];
   return [...last, ...others, ...finishStream(forwarding, attempt, context)];
 };
 
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -9,6 +9,7 @@
 } from './constants.js';
 import { countColdSend, limitCold } from './load.js';
 import { refuseRequest } from './outcomes.js';
+import { releaseCopy } from './generationCopy.js';
 import type { Attempt, AttemptPurpose, Effects, Forwarding, RequestsContext } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
@@ -33,7 +34,10 @@
 export const computeSilence = ({ route }: Forwarding): Millis =>
   Math.max(MIN_SILENCE_MS, (route.gapTargetMs ?? 0) * SILENCE_GAPS);
 
-const listCandidates = (forwarding: Forwarding, { state, inputs }: RequestsContext) =>
+const listCandidates = (
+  forwarding: Forwarding,
+  { state, inputs }: RequestsContext,
+): readonly Candidate[] =>
   limitCold(
     state,
     inputs.listEndpoints(forwarding.service.name),
@@ -132,6 +136,7 @@
     lastEventAt: now,
     events: 0,
     transfer: null,
+    copy: null,
     refusedTargets: new Set(),
     streamState: 'open',
   };
@@ -185,10 +190,13 @@
  * @returns effects that end their connections
  */
 export const cancelAttempts = (forwarding: Forwarding): Effects => {
-  const running = [...forwarding.attempts.keys()];
+  const running = [...forwarding.attempts.values()];
   forwarding.attempts.clear();
   const { key } = forwarding.request;
-  return running.map((attempt) => ({ kind: 'cancel-attempt', key, attempt }));
+  return running.flatMap((attempt): Effects => [
+    { kind: 'cancel-attempt', key, attempt: attempt.number },
+    ...releaseCopy(attempt),
+  ]);
 };
 
 /**
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -64,11 +64,8 @@
 /** Interval at which a daemon asks whether it is its turn. */
 export const TRANSFER_CHECK_MS = 10;
 
-/** Time after which a daemon no longer waits for its turn, as others may have ended. */
-export const TRANSFER_TURN_MS = 1_000;
-
 /** Orders that are given for one generation. */
-export const MAX_TRANSFER_ORDERS = 6;
+export const MAX_TRANSFER_ORDERS = 20;
 
 /** Pause before an order is repeated. */
 export const TRANSFER_RETRY_MS = 100;
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -2,7 +2,8 @@
 import type { Attempt, Forwarding, RequestsInputs, RequestsState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
-import { estimateTokens } from '../../decisions/forwarding/placeForward.js';
+import { OUTPUT_TOKEN_WORTH } from '../../decisions/forwarding/constants.js';
+import { estimateOutput, estimateTokens } from '../../decisions/forwarding/placeForward.js';
 import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeForward.js';
 import type { Service } from '../../decisions/forwarding/types.js';
 
@@ -21,15 +22,42 @@
   waitingTokens: left.waitingTokens + right.waitingTokens,
 });
 
-/** Memory that a generation takes now, with what it is about to grow by. */
-const computeTokens = ({ eventsShown, request, service }: Forwarding): number => {
-  const { demand } = request;
+/**
+ * Counts the output tokens that a generation has made.
+ *
+ * @param forwarding - request
+ * @returns tokens
+ */
+export const countMade = ({ eventsShown, service }: Forwarding): number =>
+  eventsShown * (service.engine?.tokensPerEvent ?? 1);
+
+/**
+ * Computes the memory that a generation takes now, with what it is about to grow by.
+ *
+ * @param forwarding - request
+ * @returns tokens
+ */
+export const computeTokens = (forwarding: Forwarding): number => {
+  const { demand } = forwarding.request;
   if (demand === null) return 0;
-  const made = eventsShown * (service.engine?.tokensPerEvent ?? 1);
+  const made = countMade(forwarding);
   const atEnd = Math.max(estimateTokens(demand), demand.promptTokens + made);
   return Math.min(atEnd, demand.promptTokens + made + GROWTH_TOKENS);
 };
 
+/**
+ * Computes the worth of a generation: tokens of its prompt and, at their weight, of its output.
+ *
+ * @param forwarding - request
+ * @returns the worth
+ */
+export const computeWorth = (forwarding: Forwarding): number => {
+  const { demand } = forwarding.request;
+  if (demand === null) return 0;
+  const output = Math.max(countMade(forwarding), estimateOutput(demand));
+  return demand.promptTokens + OUTPUT_TOKEN_WORTH * output;
+};
+
 const computeAttemptLoad = (forwarding: Forwarding, attempt: Attempt): EndpointLoad => ({
   requests: 1,
   tokens: computeTokens(forwarding),
@@ -75,18 +103,27 @@
   return [...ids];
 };
 
+/** Worth of a generation whose transfer has begun: it goes before all that wait. */
+const STARTED_WORTH = 1e9;
+
 /**
- * Counts the generations that this daemon is to take from endpoints that leave, by endpoint.
+ * Lists the endpoints that leave and run generations of this daemon, with the greatest worth of
+ * these generations.
  *
  * @param state - requests in progress
- * @returns the numbers
+ * @param now - current instant; generations whose next try is later do not count
+ * @returns the worths by endpoint
  */
-export const countOwnTransfers = (state: RequestsState): ReadonlyMap<EndpointId, number> => {
+export const listOwnTransfers = (
+  state: RequestsState,
+  now: Millis,
+): ReadonlyMap<EndpointId, number> => {
   const transfers = new Map<EndpointId, number>();
-  for (const { attempts } of state.table.values()) {
-    for (const { endpoint, transfer } of attempts.values()) {
-      if (transfer === null) continue;
-      transfers.set(endpoint.id, (transfers.get(endpoint.id) ?? 0) + 1);
+  for (const forwarding of state.table.values()) {
+    for (const { endpoint, transfer } of forwarding.attempts.values()) {
+      if (transfer === null || (transfer.phase === 'waiting' && transfer.dueAt > now)) continue;
+      const worth = transfer.phase === 'waiting' ? computeWorth(forwarding) : STARTED_WORTH;
+      transfers.set(endpoint.id, Math.max(transfers.get(endpoint.id) ?? 0, worth));
     }
   }
   return transfers;
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -176,7 +176,7 @@
   t.deepEqual(findEffect(shown, 'write-answer')?.bytes, Buffer.from(buildEvents(1, 3)));
   const second = getOrder(fail(harness, first));
   t.is(second.head.lastEventId, '3');
-  t.deepEqual(second.head.copy, { kind: 'backup', address: second.address });
+  t.deepEqual(second.head.copy, { kind: 'backup', holder: second.address });
   t.deepEqual(second.address, first.head.backup);
   start(harness, second);
   const rest = harness.post({
@@ -237,6 +237,17 @@
   t.is(getOrder(effects).head.lastEventId, '3');
 });
 
+// Guards against the same for a stream that any endpoint can go on with.
+test('a silent resumable stream goes on elsewhere', (t) => {
+  const harness = createRequestsHarness();
+  const first = getOrder(harness.arrive('/summary/1'));
+  start(harness, first);
+  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+  const second = getOrder(harness.wait(1_200));
+  t.is(second.head.lastEventId, '3');
+  t.not(second.head.endpointId, first.head.endpointId);
+});
+
 // Guards against a request that crashes one endpoint after the other.
 test('a request that crashed three endpoints is refused', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -9,6 +9,7 @@
   UNREADY_RETRY_MAX_MS,
   UNREADY_RETRY_SHARE,
 } from './constants.js';
+import { findCopy } from './generationCopy.js';
 import { checkStopped, endTransferStep, clearEndpoint, takeTurn } from './transfers.js';
 import { endAttempt, expireRequest, getBudget, sendHedge } from './retrying.js';
 import type {
@@ -178,7 +179,7 @@
   const silentForMs = context.inputs.clock.now() - attempt.lastEventAt;
   const canGoOn =
     attempt.transfer === null &&
-    (attempt.backup !== null || forwarding.route.resume === 'resumable');
+    (findCopy(attempt) !== null || forwarding.route.resume === 'resumable');
   // Before its first event a request may wait for its turn at the endpoint.
   if (silentForMs < silenceMs || !canGoOn || forwarding.shown === 'nothing') {
     const delayMs = silentForMs < silenceMs ? silenceMs - silentForMs : silenceMs;
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,5 +1,6 @@
 import { cancelAttempts, continueFromCopy, placeRequest } from './attempts.js';
 import { MAX_UNRUN_ATTEMPTS } from './constants.js';
+import { findCopy } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -122,10 +123,9 @@
   context: RequestsContext,
 ): Effects => {
   const { route } = forwarding;
-  const { backup } = attempt;
-  if (backup !== null && takeBudget(forwarding, context) === 'taken') {
-    const copy = { kind: 'backup', address: backup.address } as const;
-    const continued = continueFromCopy(forwarding, backup, copy, context);
+  const copy = findCopy(attempt);
+  if (copy !== null && takeBudget(forwarding, context) === 'taken') {
+    const continued = continueFromCopy(forwarding, copy.holder, copy.name, context);
     if (continued !== null) return continued;
   }
   const hasAttempts = forwarding.ran < route.maxEndpoints;
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -7,6 +7,8 @@
   SIGNED,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
+import type { GenerationDemand } from '../../decisions/forwarding/types.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
 import type { TransferResult } from '../types.js';
 
@@ -16,12 +18,18 @@
   effects.flatMap((effect) => (effect.kind === 'start-transfer' ? [effect] : []));
 
 /** Starts memos on the only engine there is, so that none has a copy, and then adds the others. */
-const startMemos = (harness: RequestsHarness, count: number): readonly AttemptOrder[] => {
+const startMemos = (
+  harness: RequestsHarness,
+  count: number,
+  demands: readonly GenerationDemand[] = [],
+): readonly AttemptOrder[] => {
   const others = harness.endpoints.splice(1, 2);
   const orders = Array.from({ length: count }, (_, index) => {
-    const [order] = findOrders(harness.arrive('/memo/1', { id: `r-${index.toString()}` }));
+    const demand = demands[index] ?? DEMAND;
+    const id = `r-${index.toString()}`;
+    const [order] = findOrders(harness.arrive('/memo/1', { id, demand }));
     if (order === undefined) throw new Error('no attempt was opened');
-    const head = { ...SIGNED, requestId: `r-${index.toString()}` };
+    const head = { ...SIGNED, requestId: id };
     harness.post({ ...toEvent(order), kind: 'attempt-sent' });
     harness.post({ ...toEvent(order), kind: 'answer-started', head });
     harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 9) });
@@ -64,7 +72,7 @@
   const effects = endStep(harness, order, COPIED);
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, copy?.order.target);
-  t.deepEqual(next?.head.copy, { kind: 'transfer', address: order.address, handle: 'h-1' });
+  t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
   t.is(next?.head.lastEventId, '9');
 });
 
@@ -81,14 +89,27 @@
   t.is(findTransfers(harness.wait(20)).length, 1);
 });
 
-// Guards against two daemons that use the link of the engine at once, and against a daemon that
-// waits for ever for one that is gone.
-test('a daemon waits for its turn, but not for ever', (t) => {
+// Guards against two daemons that use the link of the engine at once: both copies, and what the
+// first generation made since its copy, would wait for each other.
+test('a daemon waits while another has a generation of more worth there', (t) => {
   const harness = createRequestsHarness();
   startMemos(harness, 1);
   harness.peersBefore.add('e-1');
-  t.deepEqual(findTransfers([...startLeaving(harness), ...harness.wait(400)]), []);
-  t.is(findTransfers(harness.wait(700)).length, 1);
+  t.deepEqual(findTransfers([...startLeaving(harness), ...harness.wait(1_500)]), []);
+  harness.peersBefore.delete('e-1');
+  t.is(findTransfers(harness.wait(20)).length, 1);
+});
+
+// Guards against a notice that is used up on generations of little worth.
+test('the generation of most worth goes first', (t) => {
+  const harness = createRequestsHarness();
+  const demands = [200, 800, 400].map((expectedOutputTokens) => ({
+    ...DEMAND,
+    expectedOutputTokens,
+  }));
+  const orders = startMemos(harness, 3, demands);
+  const [first] = findTransfers(startLeaving(harness));
+  t.is(first?.key, orders[1]?.key);
 });
 
 // Guards against a generation that stays because the first target has no room.
@@ -110,10 +131,49 @@
   const effects = endStep(harness, order, { kind: 'no-room', handle: 'h-2' });
   const [next] = findOrders(effects);
   t.deepEqual(next?.address, order.address);
-  t.deepEqual(next?.head.copy, { kind: 'transfer', address: order.address, handle: 'h-2' });
+  t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-2' });
+});
+
+// Guards against a generation that is lost with the answer to the last order, though the target has
+// all but its end.
+test('a generation goes on from its first copy when the rest could not be copied', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  startLeaving(harness);
+  const [stop] = findTransfers(endStep(harness, order, COPIED));
+  harness.post({
+    ...toEvent(order),
+    kind: 'attempt-failed',
+    failure: { kind: 'broken', message: 'aborted' },
+  });
+  const effects = endStep(harness, order, { kind: 'failed', message: 'reset' });
+  const [next] = findOrders(effects);
+  t.deepEqual(next?.address, stop?.order.target);
+  t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
+  t.is(next?.head.lastEventId, '9');
+});
+
+// Guards against memory that stays taken by the copy of a generation that has ended.
+test('a copy is freed when the generation ends first', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  startLeaving(harness);
+  endStep(harness, order, COPIED);
+  const effects = harness.post({ to: 'requests', kind: 'caller-gone', key: order.key });
+  t.like(findEffect(effects, 'release-copy'), { address: order.address, handle: 'h-1' });
+});
+
+// Guards against a generation that is given up because all engines were full for a moment.
+test('a generation that finds no target is tried again', (t) => {
+  const harness = createRequestsHarness();
+  startMemos(harness, 1);
+  const others = harness.endpoints.splice(-2);
+  t.deepEqual(findTransfers([...startLeaving(harness), ...harness.wait(300)]), []);
+  harness.endpoints.push(...others);
+  t.is(findTransfers(harness.wait(150)).length, 1);
 });
 
-// Guards against a caller that waits for a stream whose source stopped and whose transfer failed.
+// Guards against a caller that waits for a stream whose source stopped and whose target is gone.
 test('a transfer that fails after the source stopped ends the stream', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
@@ -124,6 +184,7 @@
     kind: 'attempt-failed',
     failure: { kind: 'broken', message: 'aborted' },
   });
+  harness.endpoints.splice(0, harness.endpoints.length);
   const effects = endStep(harness, order, { kind: 'failed', message: 'reset' });
   t.truthy(findEffect(effects, 'break-answer'));
   t.is(harness.countOpen(), 0);
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -4,14 +4,14 @@
   TRANSFER_CHECK_MS,
   TRANSFER_RETRY_MS,
   TRANSFER_SETTLE_MS,
-  TRANSFER_TURN_MS,
 } from './constants.js';
 import { endAttempt } from './retrying.js';
+import { computeWorth } from './load.js';
+import { releaseCopy } from './generationCopy.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, Transfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
-import { estimateTokens } from '../../decisions/forwarding/placeForward.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyName, TransferOrder, TransferResult } from '../types.js';
@@ -85,6 +85,9 @@
   // One with a usable copy goes on there when its endpoint ends.
   !isUsableBackup(attempt, context);
 
+const compareWorth = (left: RunningGeneration, right: RunningGeneration): number =>
+  computeWorth(right.forwarding) - computeWorth(left.forwarding);
+
 /**
  * Begins to take the generations of an endpoint elsewhere. They go one after the other, over all
  * daemons, since they share the link of the endpoint: a generation is stopped for a moment only
@@ -97,10 +100,8 @@
 export const clearEndpoint = (source: EndpointId, context: RequestsContext): Effects => {
   const leaving = listAt(source, context).filter((run) => isTransferNeeded(run, context));
   if (leaving.length === 0) return [];
-  const since = context.inputs.clock.now();
-  for (const { attempt } of leaving) {
-    attempt.transfer = { phase: 'waiting', since, orders: 0, dueAt: since };
-  }
+  const dueAt = context.inputs.clock.now();
+  for (const { attempt } of leaving) attempt.transfer = { phase: 'waiting', orders: 0, dueAt };
   return [
     ...leaving.map((run) => describeTransfer(run, 'waiting', null)),
     REPORT_NOW,
@@ -111,13 +112,6 @@
 const isActive = ({ attempt }: RunningGeneration): boolean =>
   attempt.transfer !== null && attempt.transfer.phase !== 'waiting';
 
-/** The largest generation goes first: it is worth most, and was longest in the making. */
-const compareWorth = (left: RunningGeneration, right: RunningGeneration): number => {
-  const measure = ({ forwarding }: RunningGeneration): number =>
-    forwarding.request.demand === null ? 0 : estimateTokens(forwarding.request.demand);
-  return measure(right) - measure(left);
-};
-
 const startCopy = (
   run: RunningGeneration,
   waiting: Extract<Transfer, { phase: 'waiting' }>,
@@ -126,19 +120,17 @@
   const { attempt, forwarding } = run;
   const target = chooseTransferTarget(forwarding, attempt, context);
   if (target === null) {
-    attempt.transfer = null;
+    // Every endpoint refused; generations that end there make room.
+    attempt.refusedTargets.clear();
+    const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
+    attempt.transfer = { ...waiting, dueAt };
     return [
       describeTransfer(run, 'no-target', null),
       REPORT_NOW,
       scheduleTurn(attempt.endpoint.id, 0),
     ];
   }
-  attempt.transfer = {
-    phase: 'copying',
-    target,
-    since: waiting.since,
-    orders: waiting.orders + 1,
-  };
+  attempt.transfer = { phase: 'copying', target, orders: waiting.orders + 1 };
   return [orderTransfer(run, target, 'copy'), describeTransfer(run, 'copying', target)];
 };
 
@@ -156,15 +148,11 @@
   const waiting = runs
     .filter(({ attempt }) => attempt.transfer?.phase === 'waiting')
     .sort(compareWorth);
-  const [first] = waiting;
-  if (first === undefined) return [];
-  const due = waiting.filter(
+  if (waiting.length === 0) return [];
+  const next = waiting.find(
     ({ attempt }) => attempt.transfer?.phase === 'waiting' && attempt.transfer.dueAt <= now,
   );
-  const [next] = due;
-  const since = first.attempt.transfer?.since ?? now;
-  const isLate = now - since > TRANSFER_TURN_MS;
-  if (next === undefined || (!isLate && context.inputs.hasPeerBefore(source))) {
+  if (next === undefined || context.inputs.hasPeerBefore(source, computeWorth(next.forwarding))) {
     return [scheduleTurn(source, TRANSFER_CHECK_MS)];
   }
   const { transfer } = next.attempt;
@@ -207,11 +195,15 @@
   const { attempt } = run;
   const { target } = transfer;
   switch (transfer.phase) {
-    case 'copying':
+    case 'copying': {
       attempt.transfer = { ...transfer, phase: 'stopping' };
+      // Should the rest not be copied, the generation goes on from what was.
+      attempt.copy = { holder: target, handle };
       return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
+    }
     case 'stopping': {
-      const copy = { kind: 'transfer', address: attempt.endpoint.address, handle } as const;
+      attempt.copy = null;
+      const copy = { kind: 'transfer', source: attempt.endpoint.address, handle } as const;
       const described = describeTransfer(run, 'moved', target);
       return [described, ...releaseTurn(run), ...resumeFromCopy(run, target, copy, context)];
     }
@@ -228,11 +220,15 @@
   context: RequestsContext,
 ): Effects => {
   const { attempt } = run;
-  const { orders, since, target } = transfer;
-  const released = [describeTransfer(run, reason, target), ...releaseTurn(run)];
+  const { orders, target } = transfer;
+  const released = [
+    describeTransfer(run, reason, target),
+    ...releaseTurn(run),
+    ...releaseCopy(attempt),
+  ];
   if (orders >= MAX_TRANSFER_ORDERS) return released;
   const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
-  attempt.transfer = { phase: 'waiting', since, orders, dueAt };
+  attempt.transfer = { phase: 'waiting', orders, dueAt };
   return released;
 };
 
@@ -272,13 +268,14 @@
       if (transfer.phase === 'copying') return repeatLater(run, transfer, 'no-room', context);
       if (result.handle === null) return failTransfer(run, transfer, 'no-room', context);
       // The source stopped and keeps the memory, so the generation goes on where it was.
+      attempt.copy = null;
       return [
         describeTransfer(run, 'back-at-source', attempt.endpoint),
         ...releaseTurn(run),
         ...resumeFromCopy(
           run,
           attempt.endpoint,
-          { kind: 'transfer', address: attempt.endpoint.address, handle: result.handle },
+          { kind: 'transfer', source: attempt.endpoint.address, handle: result.handle },
           context,
         ),
       ];
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -28,18 +28,23 @@
 export type Transfer =
   | {
       readonly phase: 'waiting';
-      readonly since: Millis;
       /** Orders that were given to the source so far. */
       readonly orders: number;
       readonly dueAt: Millis;
     }
   | {
       readonly phase: 'copying' | 'stopping';
-      readonly since: Millis;
       readonly orders: number;
       readonly target: EndpointRecord;
     };
 
+/** Copy of a running generation that a transfer left at another endpoint. */
+export interface HeldCopy {
+  readonly holder: EndpointRecord;
+  /** Name that the source gave to it. */
+  readonly handle: string;
+}
+
 /** How far an attempt has come; before `sent` the endpoint cannot have run the request. */
 export type AttemptPhase = 'connecting' | 'sent' | 'answering';
 
@@ -49,7 +54,7 @@
   readonly endpoint: EndpointRecord;
   readonly purpose: AttemptPurpose;
   readonly startedAt: Millis;
-  /** Endpoint that keeps a copy of the generation. */
+  /** Endpoint that keeps a growing copy of the generation from its start. */
   readonly backup: EndpointRecord | null;
   phase: AttemptPhase;
   head: AnswerHead | null;
@@ -58,6 +63,8 @@
   splitter: SplitterState;
   lastEventAt: Millis;
   transfer: Transfer | null;
+  /** Copy of the generation that a transfer made; null without one. */
+  copy: HeldCopy | null;
   /** Endpoints that had no room for the generation, and orders that failed. */
   readonly refusedTargets: Set<EndpointId>;
   /** Whether the endpoint's stream may still bring events. */
@@ -121,8 +128,8 @@
   readonly countDaemons: () => number;
   /** Null while the daemon stays. */
   readonly getDrain: () => DrainTimes | null;
-  /** Whether a daemon that goes first has generations to take from an endpoint. */
-  readonly hasPeerBefore: (source: EndpointId) => boolean;
+  /** Whether another daemon has a generation of more worth to take from an endpoint. */
+  readonly hasPeerBefore: (source: EndpointId, worth: number) => boolean;
   readonly getLive: () => LiveSettings;
   readonly crashes: CrashTable;
   readonly addOwnCrash: (fingerprint: string, endpoint: string) => void;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -65,6 +65,15 @@
   | { readonly kind: 'endpoint-removed'; readonly id: EndpointId }
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
 
+/** What the removal of a registration says. */
+export type RemovalTrust =
+  | { readonly kind: 'certain' }
+  /**
+   * The store was away until `since`, and registrations may have lapsed meanwhile. One that was
+   * written after that and is removed again is gone.
+   */
+  | { readonly kind: 'doubtful'; readonly since: Millis };
+
 /** Result of reading a feed. */
 export type FeedResult =
   | {
@@ -104,9 +113,9 @@
 /** Name of a copy of a generation's memory. */
 export type CopyName =
   /** Kept at an endpoint under the request's own id. */
-  | { readonly kind: 'backup'; readonly address: EndpointAddress }
-  /** Made by a transfer; the address is that of its source. */
-  | { readonly kind: 'transfer'; readonly address: EndpointAddress; readonly handle: string };
+  | { readonly kind: 'backup'; readonly holder: EndpointAddress }
+  /** Made by a transfer, and named by its source. */
+  | { readonly kind: 'transfer'; readonly source: EndpointAddress; readonly handle: string };
 
 /** How an order to copy a running generation to another endpoint ended. */
 export type TransferResult =
@@ -127,15 +136,17 @@
   readonly mode: 'copy' | 'stop';
 }
 
-/** Orders to engines. */
 /** What an engine says of itself. */
 export interface EngineReport {
   readonly phase: 'ready' | 'leaving';
 }
 
+/** Orders to engines. */
 export interface EngineControl {
   readonly readReport: (address: EndpointAddress) => Promise<EngineReport | null>;
   readonly transfer: (order: TransferOrder) => Promise<TransferResult>;
+  /** Frees a copy. One that cannot be freed lapses by itself, so nothing waits for the answer. */
+  readonly releaseCopy: (address: EndpointAddress, handle: string) => Promise<void>;
 }
 
 /** Head of an endpoint's answer. */
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -6,7 +6,7 @@
 import { createEndpointClient } from './endpoints/endpointClient.js';
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
-import { createFeedsLogic } from './feeds/feeds.js';
+import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -21,7 +21,7 @@
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
-import { countOwnTransfers, listStreaming, sumOwnLoads } from './requests/load.js';
+import { listOwnTransfers, listStreaming, sumOwnLoads } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
@@ -146,7 +146,8 @@
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
-      hasPeerBefore: (source) => hasPeerBefore(states.peers, source, settings.process, clock.now()),
+      hasPeerBefore: (source, worth) =>
+        hasPeerBefore(states.peers, { source, worth, process: settings.process }, clock.now()),
       getLive: () => live.current,
       crashes: crashes.table,
       addOwnCrash: crashes.addOwn,
@@ -166,7 +167,7 @@
           waitingTokens,
         ]),
       listLeaving: (since) => listLeaving(states.membership, since),
-      listOwnTransfers: () => [...countOwnTransfers(states.requests)],
+      listOwnTransfers: () => [...listOwnTransfers(states.requests, clock.now())],
       listCrashes: crashes.listSince,
       addCrash: crashes.addHeard,
     }),
@@ -174,7 +175,9 @@
     membership: createMembershipLogic({
       clock,
       listWatched: () =>
-        states.feeds.registrations.failingSince === null ? [] : listStreaming(states.requests),
+        isFeedStale(states.feeds.registrations, clock.now(), countDaemons(states.peers))
+          ? listStreaming(states.requests)
+          : [],
     }),
     moves: createMovesLogic(),
     feeds: createFeedsLogic({ clock, countDaemons: () => countDaemons(states.peers) }),
--- a/packages/platform/client/exchange.ts
+++ b/packages/platform/client/exchange.ts
@@ -20,7 +20,7 @@
 }
 
 export interface ExchangeRequest {
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly json?: unknown;
   /** Body that is sent as it is. */
