Soak the gateways as processes under faults from outside

The soak starts three gateways from the real program, with stand-ins of the store and the workers, and puts a proxy on each link. A seed gives the faults: processes are killed, paused, ended and reloaded; links are slow, reset, silent or pass one way only; the store fails or forgets its history; workers crash and leave; configurations, keys and data centres change. Callers keep their connections. checkPromises compares what callers and workers saw.

--- /dev/null
+++ b/packages/soak/linkProxy.test.ts
@@ -0,0 +1,48 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import { request } from 'undici';
+import { startLinkProxy } from './linkProxy.js';
+
+const startAnswering = async (t: { teardown: (end: () => void) => void }) => {
+  let arrivals = 0;
+  const server = createServer((_, response) => {
+    arrivals += 1;
+    response.end('ok');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const proxy = await startLinkProxy({ host: '127.0.0.1', port }, '127.0.0.1');
+  t.teardown(() => {
+    proxy.close();
+    server.close();
+    server.closeAllConnections();
+  });
+  const url = `http://127.0.0.1:${proxy.address.port.toString()}/`;
+  const call = async (): Promise<string> => {
+    const answer = await request(url, { headersTimeout: 400, reset: true });
+    return answer.body.text();
+  };
+  return { proxy, call, countArrivals: () => arrivals };
+};
+
+// Guards against faults that a soak believes to inject and does not.
+test('each mode of a link does what it says', async (t) => {
+  const { call, countArrivals, proxy } = await startAnswering(t);
+  t.is(await call(), 'ok');
+  proxy.setMode('delay');
+  t.is(await call(), 'ok');
+  proxy.setMode('reset');
+  await t.throwsAsync(call());
+  t.is(countArrivals(), 2);
+  proxy.setMode('silence');
+  await t.throwsAsync(call());
+  t.is(countArrivals(), 2);
+  proxy.setMode('one-way');
+  await t.throwsAsync(call());
+  t.is(countArrivals(), 3);
+  proxy.setMode('pass');
+  t.is(await call(), 'ok');
+});
--- /dev/null
+++ b/packages/soak/planSoak.ts
@@ -0,0 +1,114 @@
+import {
+  DATA_CENTRES,
+  ENGINES,
+  FAULT_GAP_MS,
+  GATEWAYS,
+  LEDGERS,
+  MAX_FAULT_MS,
+  MIN_FAULT_MS,
+} from './constants.js';
+import type { LinkName, SoakFault, StoreTrouble, TimedFault } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { Millis } from '../core/clock.js';
+import { createRandomSource } from '../core/random.js';
+import type { RandomSource } from '../core/random.js';
+
+type FaultKind = SoakFault['kind'];
+
+/** Weights of the kinds of faults. */
+const WEIGHTS: Readonly<Record<FaultKind, number>> = {
+  kill: 2,
+  pause: 2,
+  terminate: 3,
+  reload: 1,
+  link: 4,
+  store: 2,
+  'forget-history': 1,
+  'worker-crash': 2,
+  'worker-leave': 3,
+  configure: 2,
+  'revoke-key': 1,
+  'data-centre-out': 1,
+};
+
+const LINK_MODES = ['delay', 'reset', 'silence', 'one-way'] as const;
+const STORE_TROUBLES: readonly StoreTrouble[] = ['busy', 'silent', 'reset'];
+
+const pickIndex = (random: RandomSource, count: number): number =>
+  Math.min(count - 1, Math.floor(random.next() * count));
+
+const pickOne = <Item>(random: RandomSource, items: readonly [Item, ...Item[]]): Item =>
+  items[pickIndex(random, items.length)] ?? items[0];
+
+const pickDuration = (random: RandomSource): Millis =>
+  Math.round(MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS));
+
+const pickKind = (random: RandomSource): FaultKind => {
+  const kinds = Object.entries(WEIGHTS) as [FaultKind, number][];
+  const total = kinds.reduce((sum, [, weight]) => sum + weight, 0);
+  let left = random.next() * total;
+  for (const [kind, weight] of kinds) {
+    left -= weight;
+    if (left < 0) return kind;
+  }
+  return 'configure';
+};
+
+const pickLink = (random: RandomSource): LinkName =>
+  random.next() < 0.5
+    ? { kind: 'store', gateway: pickIndex(random, GATEWAYS) }
+    : { kind: 'worker', slot: pickIndex(random, ENGINES + LEDGERS) };
+
+const buildFault = (kind: FaultKind, random: RandomSource): SoakFault => {
+  const gateway = pickIndex(random, GATEWAYS);
+  const slot = pickIndex(random, ENGINES + LEDGERS);
+  const forMs = pickDuration(random);
+  switch (kind) {
+    case 'kill':
+    case 'pause':
+      return { kind, gateway, forMs };
+    case 'terminate':
+    case 'reload':
+      return { kind, gateway };
+    case 'link':
+      return { kind, link: pickLink(random), mode: pickOne(random, LINK_MODES), forMs };
+    case 'store':
+      return { kind, trouble: pickOne(random, STORE_TROUBLES as [StoreTrouble]), forMs };
+    case 'worker-crash':
+      return { kind, slot, forMs };
+    case 'worker-leave':
+      return { kind, slot, notice: random.next() < 0.5 ? 'told' : 'untold', forMs };
+    case 'data-centre-out':
+      return { kind, dataCentre: pickIndex(random, DATA_CENTRES), forMs: forMs + MAX_FAULT_MS };
+    case 'forget-history':
+    case 'configure':
+    case 'revoke-key':
+      return { kind };
+    default:
+      return assertNever(kind);
+  }
+};
+
+/** Factors of the mean pause; bounds of time are only checked where faults are rare. */
+const PACES = [1, 3, 6] as const;
+
+/**
+ * Plans the faults of a soak. They come in series and overlap.
+ *
+ * @param seed - seed of the whole plan
+ * @param durationMs - time in which faults begin
+ * @returns the faults in the order of their instants
+ */
+export const planSoak = (seed: number, durationMs: Millis): readonly TimedFault[] => {
+  const random = createRandomSource(seed);
+  const faults: TimedFault[] = [];
+  const gapMs = FAULT_GAP_MS * pickOne(random, PACES);
+  let at = FAULT_GAP_MS;
+  while (at < durationMs) {
+    faults.push({ at, fault: buildFault(pickKind(random), random) });
+    // A third of the faults follow the one before at once.
+    const isSeries = random.next() < 0.33;
+    at += Math.round(isSeries ? random.next() * 60 : random.next() * 2 * gapMs);
+  }
+  return faults;
+};
--- /dev/null
+++ b/packages/soak/runSoak.ts
@@ -0,0 +1,389 @@
+import { mkdirSync } from 'node:fs';
+import { createCaller } from './caller.js';
+import { checkPromises } from './checkPromises.js';
+import {
+  CALLERS,
+  CALL_PATIENCE_MS,
+  ENGINES,
+  GATEWAYS,
+  LEDGERS,
+  RECOVERED_MS,
+  RECOVERED_SHARE,
+  RECOVERY_MS,
+  STREAM_PATIENCE_MS,
+} from './constants.js';
+import { createGatewayProcess } from './gatewayProcess.js';
+import type { GatewayProcess } from './gatewayProcess.js';
+import { startLinkProxy } from './linkProxy.js';
+import type { LinkProxy } from './linkProxy.js';
+import { planSoak } from './planSoak.js';
+import type { SoakPlatform, SoakWorker, StartSoakPlatform } from './soakPlatform.js';
+import type {
+  CallKind,
+  CallRecord,
+  Disturbance,
+  Finding,
+  LinkName,
+  PublishedChange,
+  SoakFault,
+  Termination,
+} from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import { createSystemClock } from '../core/clock.js';
+import type { Clock, Millis } from '../core/clock.js';
+import { createRandomSource } from '../core/random.js';
+import type { RandomSource } from '../core/random.js';
+
+export interface SoakOptions {
+  readonly seed: number;
+  /** Time in which faults begin. */
+  readonly durationMs: Millis;
+  /** Directory of settings files and logs. */
+  readonly directory: string;
+  /** Loopback network of this soak, such as `127.80.1`, so that two do not meet. */
+  readonly network: string;
+  readonly startPlatform: StartSoakPlatform;
+}
+
+export interface SoakReport {
+  readonly findings: readonly Finding[];
+  readonly faults: number;
+  readonly calls: number;
+  readonly served: number;
+}
+
+const STATUS_OK = 200;
+
+/** Time for the first start of all processes. */
+const START_MS = 1_500;
+
+/** Pause of a caller between two requests. */
+const CALL_PAUSE_MS = 15;
+
+/** Time for which a worker that leaves serves on. */
+const LEAVE_SERVES_MS = 2_600;
+
+/** Kinds of requests, each as often as it is named. */
+const CALL_KINDS: readonly CallKind[] = ['once', 'once', 'idempotent', 'generation', 'resumable'];
+
+/** Everything that one soak owns. */
+interface Soak {
+  readonly clock: Clock;
+  readonly platform: SoakPlatform;
+  readonly gateways: readonly GatewayProcess[];
+  readonly hosts: readonly string[];
+  readonly storeLinks: readonly LinkProxy[];
+  readonly workerLinks: readonly LinkProxy[];
+  readonly workers: (SoakWorker | null)[];
+  readonly calls: CallRecord[];
+  readonly changes: PublishedChange[];
+  readonly terminations: Termination[];
+  readonly disturbances: Disturbance[];
+  readonly findings: Finding[];
+  readonly startedAt: Millis;
+  phase: 'running' | 'over';
+}
+
+const wait = (duration: Millis): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, duration);
+  });
+
+const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkName): LinkProxy | undefined => {
+  switch (link.kind) {
+    case 'store':
+      return storeLinks[link.gateway];
+    case 'worker':
+      return workerLinks[link.slot];
+    default:
+      return assertNever(link);
+  }
+};
+
+const startSlot = async (soak: Soak, slot: number): Promise<void> => {
+  if (soak.phase === 'over') return;
+  const link = soak.workerLinks[slot];
+  const worker = await soak.platform.startWorker(slot);
+  soak.workers[slot] = worker;
+  link?.setTarget(worker.address);
+  if (link !== undefined) worker.register(link.address);
+};
+
+const drainSlot = async (
+  soak: Soak,
+  { forMs, notice, slot }: Extract<SoakFault, { kind: 'worker-leave' }>,
+): Promise<void> => {
+  const worker = soak.workers[slot] ?? null;
+  if (worker === null) return;
+  soak.workers[slot] = null;
+  worker.leave(notice);
+  soak.changes.push({ kind: 'worker-leaving', workerId: worker.id, at: soak.clock.now() });
+  await wait(LEAVE_SERVES_MS);
+  worker.close();
+  await wait(forMs);
+  await startSlot(soak, slot);
+};
+
+const failSlot = async (soak: Soak, slot: number, forMs: Millis): Promise<void> => {
+  const worker = soak.workers[slot] ?? null;
+  if (worker === null) return;
+  soak.workers[slot] = null;
+  worker.crash();
+  await wait(forMs);
+  await startSlot(soak, slot);
+};
+
+/** Times in which the bounds of time do not hold are those of faults, not of planned changes. */
+const isDisturbing = ({ kind }: SoakFault): boolean => {
+  switch (kind) {
+    case 'kill':
+    case 'pause':
+    case 'terminate':
+    case 'link':
+    case 'store':
+    case 'forget-history':
+    case 'worker-crash':
+      return true;
+    case 'reload':
+    case 'worker-leave':
+    case 'configure':
+    case 'revoke-key':
+    case 'data-centre-out':
+      return false;
+    default:
+      return assertNever(kind);
+  }
+};
+
+const takeDataCentreOut = async (soak: Soak, dataCentre: number, forMs: Millis): Promise<void> => {
+  const name = soak.platform.setDataCentre(dataCentre, 'out');
+  const at = soak.clock.now();
+  await wait(forMs);
+  soak.changes.push({
+    kind: 'data-centre-out',
+    dataCentre: name,
+    at,
+    until: soak.clock.now(),
+  });
+  soak.platform.setDataCentre(dataCentre, 'in');
+};
+
+const performFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
+  const { gateways, platform } = soak;
+  switch (fault.kind) {
+    case 'kill':
+      gateways[fault.gateway]?.kill();
+      await wait(fault.forMs);
+      gateways[fault.gateway]?.start();
+      return;
+    case 'pause':
+      gateways[fault.gateway]?.pause();
+      await wait(fault.forMs);
+      gateways[fault.gateway]?.resume();
+      return;
+    case 'terminate':
+      gateways[fault.gateway]?.terminate();
+      return;
+    case 'reload':
+      gateways[fault.gateway]?.reload();
+      return;
+    case 'link': {
+      const link = findLink(soak, fault.link);
+      link?.setMode(fault.mode);
+      await wait(fault.forMs);
+      link?.setMode('pass');
+      return;
+    }
+    case 'store':
+      platform.setStoreTrouble(fault.trouble);
+      await wait(fault.forMs);
+      platform.setStoreTrouble('none');
+      return;
+    case 'forget-history':
+      platform.forgetHistory();
+      return;
+    case 'worker-crash':
+      await failSlot(soak, fault.slot, fault.forMs);
+      return;
+    case 'worker-leave':
+      await drainSlot(soak, fault);
+      return;
+    case 'configure':
+      platform.configure();
+      return;
+    case 'revoke-key': {
+      const key = platform.revokeKey();
+      if (key !== null) soak.changes.push({ kind: 'key-revoked', key, at: soak.clock.now() });
+      return;
+    }
+    case 'data-centre-out':
+      await takeDataCentreOut(soak, fault.dataCentre, fault.forMs);
+      return;
+    default:
+      assertNever(fault);
+  }
+};
+
+const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
+  const from = soak.clock.now();
+  // The end of a fault that lasts is not known yet.
+  const disturbance = { from, until: Infinity };
+  if (isDisturbing(fault)) soak.disturbances.push(disturbance);
+  await performFault(soak, fault);
+  disturbance.until = soak.clock.now();
+};
+
+const getPatience = (kind: CallKind): Millis => {
+  switch (kind) {
+    case 'once':
+    case 'idempotent':
+      return CALL_PATIENCE_MS;
+    case 'generation':
+    case 'resumable':
+      return STREAM_PATIENCE_MS;
+    default:
+      return assertNever(kind);
+  }
+};
+
+/** Sends requests until the soak is over; a caller whose gateway failed goes to the next one. */
+const runCaller = async (soak: Soak, index: number, random: RandomSource): Promise<void> => {
+  const { clock, gateways, hosts, platform } = soak;
+  const caller = createCaller(platform);
+  let gateway = index % GATEWAYS;
+  for (let number = 0; soak.phase === 'running'; number += 1) {
+    const keys = platform.listKeys();
+    const held = keys[index % keys.length];
+    if (held === undefined) break;
+    const kind = CALL_KINDS[Math.floor(random.next() * CALL_KINDS.length)] ?? 'once';
+    const id = `c${index.toString()}-${number.toString()}`;
+    const body = `body of ${id}`;
+    const patienceMs = getPatience(kind);
+    const incarnation = gateways[gateway]?.getIncarnation() ?? 0;
+    const sentAt = clock.now();
+    const to = { host: hosts[gateway] ?? '', port: platform.callerPort };
+    const wire = platform.buildCall({ id, kind, key: held.key, patienceMs });
+    const end = await caller.call(to, wire, body, patienceMs);
+    const { customer, key } = held;
+    const endedAt = clock.now();
+    soak.calls.push({ id, kind, gateway, incarnation, key, customer, body, sentAt, endedAt, end });
+    const isServed = end.kind === 'answered' && end.status === STATUS_OK;
+    if (!isServed) gateway = (gateway + 1) % GATEWAYS;
+    await wait(CALL_PAUSE_MS);
+  }
+  caller.close();
+};
+
+const checkRecovery = ({ calls, clock }: Soak): readonly Finding[] => {
+  const since = clock.now() - (RECOVERY_MS - RECOVERED_MS);
+  const late = calls.filter(({ sentAt }) => sentAt >= since);
+  // Look-ups fail at workers by their nature; an answer of a worker counts as served.
+  const served = late.filter(
+    ({ end }) => end.kind === 'answered' && (end.mark !== null || end.status === STATUS_OK),
+  );
+  if (late.length > 0 && served.length >= late.length * RECOVERED_SHARE) return [];
+  const detail = `${served.length.toString()} of ${late.length.toString()} requests were served after the last fault`;
+  return [{ promise: 'recovery', detail }];
+};
+
+const buildSoak = async (options: SoakOptions): Promise<Soak> => {
+  const { directory, network, startPlatform } = options;
+  const clock = createSystemClock();
+  const ownHost = `${network}.1`;
+  const platform = await startPlatform(ownHost, clock);
+  const hosts = Array.from(
+    { length: GATEWAYS },
+    (_, index) => `${network}.${(index + 11).toString()}`,
+  );
+  const storeLinks = await Promise.all(
+    hosts.map(() => startLinkProxy(platform.storeAddress, ownHost)),
+  );
+  const workerLinks = await Promise.all(
+    Array.from({ length: ENGINES + LEDGERS }, () => startLinkProxy(platform.storeAddress, ownHost)),
+  );
+  const findings: Finding[] = [];
+  const terminations: Termination[] = [];
+  const gateways = hosts.map((host, index) =>
+    createGatewayProcess({
+      index,
+      platform,
+      place: {
+        name: `gateway-${index.toString()}`,
+        host,
+        dataCentre: `dc-${index.toString()}`,
+        seeds: hosts,
+        store: storeLinks[index]?.address ?? platform.storeAddress,
+      },
+      directory,
+      clock,
+      onFinding: (finding) => {
+        findings.push(finding);
+      },
+      onTermination: (termination) => {
+        terminations.push(termination);
+      },
+    }),
+  );
+  return {
+    clock,
+    platform,
+    gateways,
+    hosts,
+    storeLinks,
+    workerLinks,
+    workers: workerLinks.map(() => null),
+    calls: [],
+    changes: [],
+    terminations,
+    disturbances: [],
+    findings,
+    startedAt: clock.now(),
+    phase: 'running',
+  };
+};
+
+const closeSoak = async (soak: Soak): Promise<void> => {
+  await Promise.all(soak.gateways.map((gateway) => gateway.end()));
+  for (const worker of soak.workers) worker?.close();
+  for (const link of [...soak.storeLinks, ...soak.workerLinks]) link.close();
+  soak.platform.close();
+};
+
+/**
+ * Runs gateways as processes of their own, with stand-ins of everything around them, and injects the
+ * faults of a seed from outside.
+ *
+ * @param options - seed, duration and stand-ins
+ * @returns the promises that were broken, and how much was tried
+ */
+export const runSoak = async (options: SoakOptions): Promise<SoakReport> => {
+  const { directory, durationMs, seed } = options;
+  mkdirSync(directory, { recursive: true });
+  const soak = await buildSoak(options);
+  await Promise.all(soak.workerLinks.map((_, slot) => startSlot(soak, slot)));
+  for (const gateway of soak.gateways) gateway.start();
+  await wait(START_MS);
+  const callers = Array.from({ length: CALLERS }, (_, index) =>
+    runCaller(soak, index, createRandomSource(seed + index + 1)),
+  );
+  const plan = planSoak(seed, durationMs);
+  const faults = plan.map(async ({ at, fault }) => {
+    await wait(at);
+    await applyFault(soak, fault);
+  });
+  await Promise.all(faults);
+  await wait(RECOVERY_MS);
+  const recovery = checkRecovery(soak);
+  soak.phase = 'over';
+  await Promise.all(callers);
+  await closeSoak(soak);
+  const seen = { ...soak, runs: soak.platform.listRuns() };
+  const broken = checkPromises(seen, soak.platform.answers);
+  return {
+    findings: [...soak.findings, ...recovery, ...broken],
+    faults: plan.length,
+    calls: soak.calls.length,
+    served: soak.calls.filter(({ end }) => end.kind === 'answered' && end.status === STATUS_OK)
+      .length,
+  };
+};
