Read the store as far apart as the fleet is large, and tell what is gone

A worker that was removed without a notice was not told to the other daemons.

Change: reads of registrations are 110 ms apart over all daemons that are heard, and waits for orders 350 ms, both bounded by the times within which the platform wants them known (new settings). An endpoint that leaves or is gone is told at once.

--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -2,32 +2,32 @@
 import type { Millis } from '../../core/clock.js';
 
 /**
- * How long the store may hold a read back. A connection that fell silent shows only when the answer
- * is overdue, so this also bounds how late that is noticed.
+ * Time between two reads of all daemons together. Each daemon's own reads are as many times apart as
+ * there are daemons, so that the store is not read more often by a larger fleet: what one daemon
+ * learns of leaving endpoints it tells the others.
  */
-export const FEED_WAIT_MS: Readonly<Record<FeedName, Millis>> = {
-  operator: 1_000,
-  registrations: 1_000,
+export const READ_SPACING_MS: Readonly<Record<FeedName, Millis>> = {
+  operator: 350,
+  registrations: 110,
 };
 
-/**
- * Pause after a read that brought records. Each endpoint writes its registration about once a
- * second, and reads are priced, so several changes are taken in one read.
- */
-export const FEED_PAUSE_MS: Readonly<Record<FeedName, Millis>> = {
-  operator: 20,
-  registrations: 350,
-};
+/** Shortest time for which the store may hold a read back. */
+export const MIN_FEED_WAIT_MS = 1_000;
 
-/** Daemons up to which each reads at this pace; more of them read more slowly. */
-export const FEED_DAEMONS = 8;
+/** How long the store may hold a read of registrations back; endpoints write all the time. */
+export const REGISTRATIONS_WAIT_MS = 1_000;
 
-/**
- * Bounds of the slower pace: a leaving endpoint and a new configuration have to be known within two
- * seconds, also when a connection has fallen silent.
- */
-export const MAX_FEED_PAUSE_MS = 900;
-export const MAX_FEED_WAIT_MS = 2_000;
+/** Pause after a read that brought configurations or orders. */
+export const OPERATOR_PAUSE_MS = 20;
+
+/** Shortest pause after a read that brought registrations, which come about once a second each. */
+export const MIN_REGISTRATIONS_PAUSE_MS = 350;
+
+/** Part of the time to learn that an endpoint leaves which a pause may take. */
+export const PAUSE_SHARE = 0.6;
+
+/** Time for an overdue answer and the next read, on top of a wait on a silent connection. */
+export const SILENT_READ_MS = 1_500;
 
 /** Pause after a failed read. */
 export const FEED_RETRY_MS = 250;
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,12 +1,14 @@
 import {
-  FEED_DAEMONS,
-  FEED_PAUSE_MS,
   FEED_RETRY_MS,
   FEED_SILENCE_MS,
-  FEED_WAIT_MS,
-  MAX_FEED_PAUSE_MS,
-  MAX_FEED_WAIT_MS,
+  MIN_FEED_WAIT_MS,
+  MIN_REGISTRATIONS_PAUSE_MS,
+  OPERATOR_PAUSE_MS,
+  PAUSE_SHARE,
+  READ_SPACING_MS,
+  REGISTRATIONS_WAIT_MS,
   RETURN_GRACE_MS,
+  SILENT_READ_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -14,7 +16,7 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
-import type { FeedName, FeedResult, RecordChange, RemovalTrust } from '../types.js';
+import type { FeedName, FeedResult, LearnWithin, RecordChange, RemovalTrust } from '../types.js';
 
 /** Where this daemon is in one stream of records. */
 export type FeedState =
@@ -34,32 +36,62 @@
 
 export interface FeedsInputs {
   readonly clock: Clock;
+  readonly getPace: () => FeedPace;
+}
+
+/** What the pace of the reads follows from. */
+export interface FeedPace {
   /** Daemons that read the same records, this one included. */
-  readonly countDaemons: () => number;
+  readonly daemons: number;
+  readonly learnWithin: LearnWithin;
 }
 
 interface ReadContext {
   readonly now: Millis;
-  readonly daemons: number;
+  readonly pace: FeedPace;
 }
 
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
-const readFeed = (feed: FeedName, state: FeedState, scale: number): GatewayEffect =>
-  state.kind === 'loading'
-    ? { kind: 'load-feed', feed }
-    : {
-        kind: 'read-feed',
-        feed,
-        position: state.position,
-        waitMs: Math.min(FEED_WAIT_MS[feed] * scale, MAX_FEED_WAIT_MS),
-      };
+const limitTo = (value: Millis, least: Millis, most: Millis): Millis =>
+  Math.max(least, Math.min(value, most));
 
-/** All daemons read the same records at a price, and tell each other which endpoints leave. */
-const computeScale = (daemons: number): number => Math.max(1, daemons / FEED_DAEMONS);
+/** How long the store may hold a read back; a connection that fell silent shows only after that. */
+const computeWait = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+  switch (feed) {
+    case 'operator':
+      return limitTo(
+        READ_SPACING_MS.operator * daemons,
+        MIN_FEED_WAIT_MS,
+        learnWithin.outageMs + learnWithin.configurationMs - SILENT_READ_MS,
+      );
+    case 'registrations':
+      return REGISTRATIONS_WAIT_MS;
+    default:
+      return assertNever(feed);
+  }
+};
+
+/** Pause after a read that brought records. */
+const computePause = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+  switch (feed) {
+    case 'operator':
+      return OPERATOR_PAUSE_MS;
+    case 'registrations':
+      return limitTo(
+        READ_SPACING_MS.registrations * daemons,
+        MIN_REGISTRATIONS_PAUSE_MS,
+        learnWithin.leavingMs * PAUSE_SHARE,
+      );
+    default:
+      return assertNever(feed);
+  }
+};
 
-const computePause = (feed: FeedName, daemons: number): Millis =>
-  Math.min(FEED_PAUSE_MS[feed] * computeScale(daemons), MAX_FEED_PAUSE_MS);
+const readFeed = (feed: FeedName, state: FeedState, pace: FeedPace): GatewayEffect =>
+  state.kind === 'loading'
+    ? { kind: 'load-feed', feed }
+    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pace) };
 
 /**
  * Tells whether a feed may hide what happened: its last read failed, or has been waiting although
@@ -67,13 +99,13 @@
  *
  * @param state - state of the feed of registrations
  * @param now - current instant
- * @param daemons - daemons that read the same records
+ * @param pace - what the pauses between reads follow from
  * @returns whether the records may be behind
  */
-export const isFeedStale = (state: FeedState, now: Millis, daemons: number): boolean =>
+export const isFeedStale = (state: FeedState, now: Millis, pace: FeedPace): boolean =>
   state.kind === 'loading' ||
   state.failingSince !== null ||
-  now - state.readAt > computePause('registrations', daemons) + FEED_SILENCE_MS;
+  now - state.readAt > computePause('registrations', pace) + FEED_SILENCE_MS;
 
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
@@ -160,9 +192,8 @@
   feed: FeedName,
   state: FeedState,
   result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  { daemons, now }: ReadContext,
+  { now, pace }: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const scale = computeScale(daemons);
   const doubtUntil = computeDoubt(state, now);
   const scope = result.kind === 'loaded' ? 'all' : 'changed';
   const removals: RemovalTrust =
@@ -176,14 +207,14 @@
     readAt: now,
     doubtUntil,
   };
-  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, daemons);
+  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pace);
   return {
     state: next,
     effects: [
       ...describeReturn(feed, state, now),
       ...publishChanges(feed, result.changes, scope, removals),
       pauseMs === 0
-        ? readFeed(feed, next, scale)
+        ? readFeed(feed, next, pace)
         : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
     ],
   };
@@ -242,7 +273,7 @@
  */
 export const createFeedsLogic = ({
   clock,
-  countDaemons,
+  getPace,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
@@ -255,14 +286,11 @@
     const { feed } = event;
     switch (event.kind) {
       case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(
-          state,
-          readFeed(feed, state[feed], computeScale(countDaemons())),
-        );
+        return toStep<FeedsState, GatewayEffect>(state, readFeed(feed, state[feed], getPace()));
       case 'feed-answered': {
         const step = handleResult(feed, state[feed], event.result, {
           now: clock.now(),
-          daemons: countDaemons(),
+          pace: getPace(),
         });
         return { state: { ...state, [feed]: step.state }, effects: step.effects };
       }
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -19,6 +19,7 @@
         },
       ]),
     ),
+    removed: new Map(),
     out: new Set(out),
   },
   peers: {
--- a/packages/gateway/membership/constants.ts
+++ b/packages/gateway/membership/constants.ts
@@ -6,3 +6,6 @@
 
 /** How long a report that an engine leaves goes before a registration that says otherwise. */
 export const LEAVING_HOLD_MS = 2_500;
+
+/** Removed endpoints that are remembered, so that other daemons are told of them. */
+export const MAX_REMOVED = 64;
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS } from './constants.js';
-import { createMembershipLogic } from './membership.js';
+import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
@@ -70,6 +70,19 @@
   t.deepEqual(harness.list(), []);
 });
 
+// Guards against daemons that send to an endpoint which another knows to be gone: each reads on its
+// own, and more slowly the more of them there are.
+test('an endpoint that is gone is told to the other daemons', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+  t.true(
+    effects.some((effect) => effect.kind === 'post' && effect.event.kind === 'report-changed'),
+  );
+  t.deepEqual(listLeaving(harness.getState(), 1_000), ['e-1']);
+  t.deepEqual(listLeaving(harness.getState(), 1_001), []);
+});
+
 // Guards against generations that stay on an endpoint whose entry did not come back.
 test('an endpoint that is not back in time is announced as leaving', (t) => {
   const harness = createHarness();
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,4 +1,9 @@
-import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS, REPORTS_INTERVAL_MS } from './constants.js';
+import {
+  DOUBTFUL_REMOVAL_MS,
+  LEAVING_HOLD_MS,
+  MAX_REMOVED,
+  REPORTS_INTERVAL_MS,
+} from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
@@ -25,20 +30,27 @@
 export interface MembershipState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
+  /** Instants at which removed endpoints were learnt to be gone; the oldest are dropped. */
+  readonly removed: Map<EndpointId, Millis>;
   readonly out: Set<DataCentreId>;
 }
 
 /**
- * Lists the endpoints that were learnt to leave since an instant.
+ * Lists the endpoints that were learnt to leave or to be gone since an instant.
  *
  * @param state - endpoints
  * @param since - instant
  * @returns their ids
  */
-export const listLeaving = ({ endpoints }: MembershipState, since: Millis): readonly EndpointId[] =>
-  [...endpoints.values()]
+export const listLeaving = (
+  { endpoints, removed }: MembershipState,
+  since: Millis,
+): readonly EndpointId[] => [
+  ...[...endpoints.values()]
     .filter(({ leavingAt }) => leavingAt !== null && leavingAt >= since)
-    .map(({ record }) => record.id);
+    .map(({ record }) => record.id),
+  ...[...removed].filter(([, removedAt]) => removedAt >= since).map(([id]) => id),
+];
 
 export interface MembershipInputs {
   readonly clock: Clock;
@@ -64,10 +76,25 @@
   },
 });
 
-const notifyLeaving = (endpoint: EndpointId): GatewayEffect => ({
-  kind: 'post',
-  event: { to: 'requests', kind: 'endpoint-leaving', endpoint },
-});
+/** The other daemons may read of it later. */
+const notifyLeaving = (endpoint: EndpointId): Effects => [
+  { kind: 'post', event: { to: 'requests', kind: 'endpoint-leaving', endpoint } },
+  { kind: 'post', event: { to: 'peers', kind: 'report-changed' } },
+];
+
+const pruneEndpoint = (
+  { endpoints, removed }: MembershipState,
+  known: KnownEndpoint,
+  now: Millis,
+) => {
+  const { id } = known.record;
+  endpoints.delete(id);
+  // One that was announced as leaving is known to the others.
+  if (known.leavingAt === null) removed.set(id, now);
+  const [oldest] = removed.keys();
+  if (removed.size > MAX_REMOVED && oldest !== undefined) removed.delete(oldest);
+  return [describeEndpoint(known.record, 'removed'), ...notifyLeaving(id)];
+};
 
 const isNewLife = (known: KnownEndpoint, record: EndpointRecord): boolean =>
   known.record.startedAt !== record.startedAt ||
@@ -95,7 +122,7 @@
   endpoints.set(record.id, { record, health, recordedAt: now, leavingAt, removedAt: null });
   if (isNew) return [describeEndpoint(record, 'registered')];
   if (known.record.phase === record.phase) return [];
-  const leaving = record.phase === 'leaving' ? [notifyLeaving(record.id)] : [];
+  const leaving = record.phase === 'leaving' ? notifyLeaving(record.id) : [];
   return [describeEndpoint(record, 'phase'), ...leaving];
 };
 
@@ -111,17 +138,15 @@
 };
 
 const removeEndpoint = (
-  { endpoints }: MembershipState,
+  state: MembershipState,
   id: EndpointId,
   removals: RemovalTrust,
   now: Millis,
 ): Effects => {
+  const { endpoints } = state;
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (isCertain(known, removals)) {
-    endpoints.delete(id);
-    return [describeEndpoint(known.record, 'removed'), notifyLeaving(id)];
-  }
+  if (isCertain(known, removals)) return pruneEndpoint(state, known, now);
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
@@ -205,11 +230,15 @@
   return [{ kind: 'log', name: 'endpoint-avoided', details: { endpoint: id, data } }];
 };
 
-const applyRemoval = (state: MembershipState, id: EndpointId, removedAt: Millis): Effects => {
+const applyRemoval = (
+  state: MembershipState,
+  id: EndpointId,
+  removedAt: Millis,
+  now: Millis,
+): Effects => {
   const known = state.endpoints.get(id);
   if (known === undefined || known.removedAt !== removedAt) return [];
-  state.endpoints.delete(id);
-  return [describeEndpoint(known.record, 'removed'), notifyLeaving(id)];
+  return pruneEndpoint(state, known, now);
 };
 
 const readReports = ({ endpoints }: MembershipState, watched: readonly EndpointId[]): Effects =>
@@ -228,7 +257,7 @@
   if (known === undefined || phase === 'ready' || known.record.phase === 'leaving') return [];
   const record = { ...known.record, phase };
   endpoints.set(id, { ...known, record, leavingAt: now });
-  return [describeEndpoint(record, 'reported'), notifyLeaving(id)];
+  return [describeEndpoint(record, 'reported'), ...notifyLeaving(id)];
 };
 
 /**
@@ -244,7 +273,7 @@
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
     toStep<MembershipState, GatewayEffect>(
-      { loaded: 'no', endpoints: new Map(), out: new Set() },
+      { loaded: 'no', endpoints: new Map(), removed: new Map(), out: new Set() },
       SCHEDULE_REPORTS,
     ),
   decide: (state, event) => {
@@ -264,7 +293,7 @@
       case 'report-read':
         return { state, effects: applyReport(state, event.endpoint, event.report, now) };
       case 'removal-due':
-        return { state, effects: applyRemoval(state, event.id, event.removedAt) };
+        return { state, effects: applyRemoval(state, event.id, event.removedAt, now) };
       default:
         return assertNever(event);
     }
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -102,6 +102,17 @@
  */
 export const countDaemons = (state: PeersState): number => state.peers.size + 1;
 
+/**
+ * Counts the daemons that are heard now, this one included. One that is cut off from the others
+ * cannot rely on what they learn.
+ *
+ * @param state - peers as they were last heard
+ * @param now - current instant
+ * @returns the number
+ */
+export const countHeard = (state: PeersState, now: Millis): number =>
+  1 + [...state.peers.values()].filter(({ heardAt }) => now - heardAt <= PEER_LOAD_AGE_MS).length;
+
 const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
   const known = [...state.peers.values()].map(({ host }) => host);
   const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -34,6 +34,17 @@
   readonly graceMs: Millis;
   /** Factor of the bound on requests to a cold endpoint. */
   readonly coldOvershoot: number;
+  readonly learnWithin: LearnWithin;
+}
+
+/** Times within which a daemon has to know what was published. */
+export interface LearnWithin {
+  /** That an endpoint leaves. */
+  readonly leavingMs: Millis;
+  /** A new configuration. */
+  readonly configurationMs: Millis;
+  /** Time after a disturbance of its connections from which the others hold. */
+  readonly outageMs: Millis;
 }
 
 /** The platform's store as its client needs it. */
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -7,6 +7,7 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
 import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
+import type { FeedPace } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -17,7 +18,7 @@
 import { createMovesLogic } from './moves/moves.js';
 import { createCrashReports } from './peers/crashReports.js';
 import type { CrashReports } from './peers/crashReports.js';
-import { countDaemons, createPeersLogic, hasPeerBefore } from './peers/peers.js';
+import { countDaemons, countHeard, createPeersLogic, hasPeerBefore } from './peers/peers.js';
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
@@ -138,6 +139,10 @@
 
 const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
   const { clock, crashes, live, random, settings, states } = cradle;
+  const getPace = (): FeedPace => ({
+    daemons: countHeard(states.peers, clock.now()),
+    learnWithin: live.current.learnWithin,
+  });
   return {
     requests: createRequestsLogic({
       clock,
@@ -175,12 +180,12 @@
     membership: createMembershipLogic({
       clock,
       listWatched: () =>
-        isFeedStale(states.feeds.registrations, clock.now(), countDaemons(states.peers))
+        isFeedStale(states.feeds.registrations, clock.now(), getPace())
           ? listStreaming(states.requests)
           : [],
     }),
     moves: createMovesLogic(),
-    feeds: createFeedsLogic({ clock, countDaemons: () => countDaemons(states.peers) }),
+    feeds: createFeedsLogic({ clock, getPace }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
