Count the output of a stream when a draining daemon takes it on; keep the bytes of soak links in order

The time that a stream needs was that to its first event. The expected output counts now.

The proxy delivers in order, callers leave draining gateways as the balancer does, and recovery begins when every process is steady.

--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -32,6 +32,9 @@
 export const DRAIN_TARGETS = 2;
 export const DRAIN_SPARE_MS = 200;
 
+/** Time for each output token that is expected of a stream: a slow engine's, as estimates are often low. */
+export const DRAIN_TOKEN_MS = 30;
+
 /** Time after which a caller that a draining daemon refused may come back, to another daemon. */
 export const DRAIN_RETRY_MS = 50;
 
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -7,6 +7,7 @@
   SIGNED,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
 import { recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
 import type { AttemptFailure, AttemptOrder, GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
@@ -287,3 +288,13 @@
   harness.setDrain({ drainedMs: 7_200, leftMs: 300 });
   t.is(findEffect(harness.arrive('/sweep/2'), 'refuse')?.failure.code, 'draining');
 });
+
+// Guards against a resumable stream of many tokens that a draining daemon cuts off at its end.
+test('a draining daemon takes on no stream that is longer than its time', (t) => {
+  const harness = createRequestsHarness();
+  harness.setDrain({ drainedMs: 3_000, leftMs: 5_000 });
+  const short = { ...DEMAND, expectedOutputTokens: 20 };
+  t.is(findOrders(harness.arrive('/summary/1', { demand: short })).length, 1);
+  const refused = findEffect(harness.arrive('/summary/1'), 'refuse');
+  t.is(refused?.failure.code, 'draining');
+});
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -5,6 +5,7 @@
   DRAIN_RETRY_MS,
   DRAIN_SPARE_MS,
   DRAIN_TARGETS,
+  DRAIN_TOKEN_MS,
   MAX_REQUESTS,
   UNREADY_RETRY_MAX_MS,
   UNREADY_RETRY_SHARE,
@@ -25,6 +26,7 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { checkCrashes } from '../../decisions/forwarding/crashSuspicion.js';
+import { estimateOutput } from '../../decisions/forwarding/placeForward.js';
 import { countRequest } from '../../decisions/forwarding/retryBudget.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
@@ -61,11 +63,17 @@
  * Tells whether a daemon that drains can finish a request. A long generation is not taken on once
  * the balancer sends no more connections, as it would be cut off with the process.
  */
-const isBeyondDrain = (route: Route, { getDrain }: RequestsInputs): boolean => {
+const isBeyondDrain = (
+  route: Route,
+  { demand }: ForwardRequest,
+  { getDrain }: RequestsInputs,
+): boolean => {
   const drain = getDrain();
   if (drain === null || drain.drainedMs < DRAIN_ACCEPT_MS) return false;
   const isLong = route.answer === 'stream' && route.resume === 'single-run';
-  const neededMs = Math.min(route.timeoutMs, route.targetMs * DRAIN_TARGETS + DRAIN_SPARE_MS);
+  const outputMs = demand === null ? 0 : estimateOutput(demand) * DRAIN_TOKEN_MS;
+  const startMs = route.targetMs * DRAIN_TARGETS + DRAIN_SPARE_MS;
+  const neededMs = Math.min(route.timeoutMs, startMs + outputMs);
   return isLong || neededMs > drain.leftMs;
 };
 
@@ -114,7 +122,7 @@
       return assertNever(found);
   }
   const { customer, route } = found;
-  if (isBeyondDrain(route, inputs)) {
+  if (isBeyondDrain(route, request, inputs)) {
     const retryAfterMs = DRAIN_RETRY_MS;
     const message = 'the daemon ends before the answer could';
     return refuseArrival(request, createFailure('not-run', 'draining', message, retryAfterMs));
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { GRACE_MS } from './constants.js';
 import type { GatewayPlace, SoakPlatform } from './soakPlatform.js';
 import type { Finding, Termination } from './types.js';
@@ -10,10 +11,20 @@
 /** Time beyond the grace period after which a process that was ordered to end is killed. */
 const KILL_MARGIN_MS = 1_000;
 
+/** Time after an order to end in which the balancer still sends new connections. */
+const ROTATION_MS = 2_000;
+
+/** Interval at which a process is looked at that is to be steady. */
+const STEADY_CHECK_MS = 50;
+
 /** One gateway that is started again after each end. */
 export interface GatewayProcess {
   /** Run of the process, from 1. */
   readonly getIncarnation: () => number;
+  /** Whether the balancer sends new connections: not to one that was ordered to end a while ago. */
+  readonly isInRotation: () => boolean;
+  /** Resolves when the process runs and has no order to end. */
+  readonly waitUntilSteady: () => Promise<void>;
   readonly start: () => void;
   readonly kill: () => void;
   readonly pause: () => void;
@@ -50,6 +61,7 @@
   let child: ChildProcess | null = null;
   let phase: Phase = 'stopped';
   let incarnation = 0;
+  let orderedAt = 0;
 
   const handleExit = (code: number | null, signal: string | null): void => {
     const isExpected = phase === 'ending' || phase === 'killed';
@@ -97,6 +109,11 @@
 
   return {
     getIncarnation: () => incarnation,
+    isInRotation: () =>
+      phase === 'running' || (phase === 'ending' && clock.now() - orderedAt < ROTATION_MS),
+    waitUntilSteady: async () => {
+      while (phase !== 'running') await sleep(STEADY_CHECK_MS);
+    },
     start,
     kill: () => {
       if (child === null) return;
@@ -112,6 +129,7 @@
     terminate: () => {
       if (child === null || phase !== 'running') return;
       phase = 'ending';
+      orderedAt = clock.now();
       options.onTermination({ gateway: index, incarnation, at: clock.now() });
       child.kill('SIGTERM');
       watchEnd(child);
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { connect, createServer as createTcpServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import { request } from 'undici';
@@ -46,3 +47,28 @@
   proxy.setMode('pass');
   t.is(await call(), 'ok');
 });
+
+// Guards against bytes that overtake each other when a delay ends, as no connection lets them.
+test('bytes stay in order when a delay ends', async (t) => {
+  const server = createTcpServer((socket) => {
+    socket.write('a');
+    setTimeout(() => {
+      proxy.setMode('pass');
+      socket.end('b');
+    }, 20);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const proxy = await startLinkProxy({ host: '127.0.0.1', port }, '127.0.0.1');
+  t.teardown(() => {
+    proxy.close();
+    server.close();
+  });
+  proxy.setMode('delay');
+  const socket = connect(proxy.address);
+  let text = '';
+  for await (const bytes of socket) text += String(bytes);
+  t.is(text, 'ab');
+});
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { LINK_DELAY_MS } from './constants.js';
 import type { LinkMode } from './types.js';
 import { assertNever } from '../core/assertNever.js';
@@ -51,26 +52,28 @@
   const silent = new WeakSet<Socket>();
 
   const carry = (from: Socket, to: Socket, direction: Direction): void => {
+    // What comes after delayed bytes waits behind them, whatever the mode is by then.
+    let last: Promise<void> = Promise.resolve();
+    const deliver = (action: () => void): void => {
+      const delayed = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
+      last = Promise.all([last, delayed]).then(action);
+    };
     from.on('data', (bytes: Buffer) => {
       if (isHeld(mode, direction)) silent.add(from);
       if (silent.has(from)) return;
-      if (mode === 'delay') {
-        setTimeout(() => {
-          if (to.writable) to.write(bytes);
-        }, LINK_DELAY_MS);
-      } else if (to.writable) to.write(bytes);
+      deliver(() => {
+        if (to.writable) to.write(bytes);
+      });
     });
     from.on('end', () => {
-      if (silent.has(from) || isHeld(mode, direction)) return;
-      if (mode === 'delay') setTimeout(() => to.end(), LINK_DELAY_MS);
-      else to.end();
+      if (!silent.has(from) && !isHeld(mode, direction)) deliver(() => to.end());
     });
     // A reset is passed on by the end of the connection.
     from.on('error', () => undefined);
-    from.on('close', () => {
+    from.on('close', (hadError) => {
       open.delete(from);
-      if (silent.has(from) || isHeld(mode, direction)) return;
-      setTimeout(() => to.destroy(), mode === 'delay' ? 2 * LINK_DELAY_MS : 0);
+      const isSilent = silent.has(from) || isHeld(mode, direction);
+      if (hadError && !isSilent) deliver(() => to.resetAndDestroy());
     });
   };
 
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -1,4 +1,5 @@
 import { mkdirSync } from 'node:fs';
+import { setTimeout as wait } from 'node:timers/promises';
 import { createCaller } from './caller.js';
 import { checkPromises } from './checkPromises.js';
 import {
@@ -84,11 +85,6 @@
   phase: 'running' | 'over';
 }
 
-const wait = (duration: Millis): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, duration);
-  });
-
 const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkName): LinkProxy | undefined => {
   switch (link.kind) {
     case 'store':
@@ -246,6 +242,12 @@
   }
 };
 
+/** Goes on to the next gateway in rotation, or to the next one where there is none. */
+const pickGateway = ({ gateways }: Soak, from: number): number => {
+  const order = gateways.map((_, step) => (from + 1 + step) % GATEWAYS);
+  return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAYS;
+};
+
 /** Sends requests until the soak is over; a caller whose gateway failed goes to the next one. */
 const runCaller = async (soak: Soak, index: number, random: RandomSource): Promise<void> => {
   const { clock, gateways, hosts, platform } = soak;
@@ -268,7 +270,9 @@
     const endedAt = clock.now();
     soak.calls.push({ id, kind, gateway, incarnation, key, customer, body, sentAt, endedAt, end });
     const isServed = end.kind === 'answered' && end.status === STATUS_OK;
-    if (!isServed) gateway = (gateway + 1) % GATEWAYS;
+    if (!isServed || gateways[gateway]?.isInRotation() !== true) {
+      gateway = pickGateway(soak, gateway);
+    }
     await wait(CALL_PAUSE_MS);
   }
   caller.close();
@@ -372,6 +376,8 @@
     await applyFault(soak, fault);
   });
   await Promise.all(faults);
+  // Orders to end that came last are still being followed.
+  await Promise.all(soak.gateways.map((gateway) => gateway.waitUntilSteady()));
   await wait(RECOVERY_MS);
   const recovery = checkRecovery(soak);
   soak.phase = 'over';
