--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -1,11 +1,19 @@
-/** Interval between reports to the other daemons. */
+/** Interval between reports to the other daemons in a fleet of `REPORT_DAEMONS` or fewer. */
 export const REPORT_INTERVAL_MS = 80;
 
+/**
+ * Daemons above which reports go out more slowly, so that a daemon's bytes do not grow with the fleet
+ * times its targets: the more daemons there are, the less each one adds to the load of an endpoint.
+ * What others wait for is reported at once at any size.
+ */
+export const REPORT_DAEMONS = 8;
+export const MAX_REPORT_INTERVAL_MS = 400;
+
 /** Age from which the load of a peer no longer counts. */
 export const PEER_LOAD_AGE_MS = 1_500;
 
-/** Age from which a peer no longer holds up the transfers of others: it has missed several reports. */
-export const PEER_TURN_AGE_MS = 320;
+/** Reports that a peer has missed when it no longer holds up the transfers of others. */
+export const TURN_REPORTS = 4;
 
 /** Age from which a peer no longer counts as one that shares a budget. */
 export const PEER_FORGET_MS = 15_000;
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { PEER_FORGET_MS, PEER_LOAD_AGE_MS, PEER_TURN_AGE_MS } from './constants.js';
+import { PEER_FORGET_MS, PEER_LOAD_AGE_MS, REPORT_INTERVAL_MS, TURN_REPORTS } from './constants.js';
 import { countDaemons, createPeersLogic, hasPeerBefore, sumPeerLoad } from './peers.js';
 import { decodePeerMessage } from './peerSocket.js';
 import type { PeerMessage } from './types.js';
@@ -90,11 +90,20 @@
 test('a silent peer does not hold up the transfers of others', (t) => {
   const harness = createHarness();
   harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
-  harness.clock.advance(PEER_TURN_AGE_MS + 1);
+  harness.clock.advance(TURN_REPORTS * REPORT_INTERVAL_MS + 1);
   const turn = { source: 'e-1', worth: 600, process: 'gateway-5' };
   t.false(hasPeerBefore(harness.getState(), turn, harness.clock.now()));
 });
 
+// Guards against bytes that grow with the square of the fleet.
+test('reports of a large fleet go out more slowly, and at once when others wait', (t) => {
+  const harness = createHarness();
+  for (let index = 1; index <= 30; index += 1) harness.hear(`10.0.1.${index.toString()}`);
+  const [timer] = harness.post({ to: 'peers', kind: 'report-due' });
+  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, 310);
+  t.true(findHosts(harness.post({ to: 'peers', kind: 'report-changed' })).length > 0);
+});
+
 // Guards against crashes and notices that each daemon has to see for itself.
 test('crashes and leaving endpoints of a peer are taken over', (t) => {
   const harness = createHarness();
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -8,9 +8,11 @@
   MAX_REPORT_TARGETS,
   PEER_FORGET_MS,
   PEER_LOAD_AGE_MS,
-  PEER_TURN_AGE_MS,
+  MAX_REPORT_INTERVAL_MS,
+  REPORT_DAEMONS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
+  TURN_REPORTS,
 } from './constants.js';
 import type { LoadRow, Peer, PeerMessage } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -67,6 +69,20 @@
   return sum;
 };
 
+/**
+ * Counts the daemons that share a budget, this one included.
+ *
+ * @param state - peers as they were last heard
+ * @returns the number
+ */
+export const countDaemons = (state: PeersState): number => state.peers.size + 1;
+
+const computeInterval = (state: PeersState): Millis =>
+  Math.min(
+    MAX_REPORT_INTERVAL_MS,
+    REPORT_INTERVAL_MS * Math.max(1, countDaemons(state) / REPORT_DAEMONS),
+  );
+
 /** A daemon's next generation to take from an endpoint that leaves. */
 export interface TransferTurn {
   readonly source: EndpointId;
@@ -86,7 +102,7 @@
 export const hasPeerBefore = (state: PeersState, turn: TransferTurn, now: Millis): boolean =>
   [...state.peers.values()].some(
     ({ heardAt, message }) =>
-      now - heardAt <= PEER_TURN_AGE_MS &&
+      now - heardAt <= TURN_REPORTS * computeInterval(state) &&
       message.transfers.some(
         ([source, worth]) =>
           source === turn.source &&
@@ -94,14 +110,6 @@
       ),
   );
 
-/**
- * Counts the daemons that share a budget, this one included.
- *
- * @param state - peers as they were last heard
- * @returns the number
- */
-export const countDaemons = (state: PeersState): number => state.peers.size + 1;
-
 /**
  * Counts the daemons that are heard now, this one included. One that is cut off from the others
  * cannot rely on what they learn.
@@ -148,7 +156,11 @@
   const next = isSeedTurn ? { ...state, seedsAskedAt: now } : state;
   return toStep<PeersState, GatewayEffect>(
     next,
-    { kind: 'schedule', delayMs: REPORT_INTERVAL_MS, event: { to: 'peers', kind: 'report-due' } },
+    {
+      kind: 'schedule',
+      delayMs: computeInterval(state),
+      event: { to: 'peers', kind: 'report-due' },
+    },
     sendReport(state, inputs),
   );
 };
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -105,7 +105,10 @@
   };
 
   // A soak that ends early leaves no process behind.
-  process.once('exit', () => child?.kill('SIGKILL'));
+  const endWithSoak = (): void => {
+    child?.kill('SIGKILL');
+  };
+  process.once('exit', endWithSoak);
 
   return {
     getIncarnation: () => incarnation,
@@ -142,6 +145,7 @@
     end: () =>
       new Promise((resolve) => {
         log.end();
+        process.removeListener('exit', endWithSoak);
         if (child === null) {
           resolve();
           return;
--- a/packages/soak/planSoak.ts
+++ b/packages/soak/planSoak.ts
@@ -10,8 +10,8 @@
 import type { LinkName, SoakFault, StoreTrouble, TimedFault } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Millis } from '../core/clock.js';
-import { createRandomSource } from '../core/random.js';
 import type { RandomSource } from '../core/random.js';
+import { createSeededSource } from '../standins/common/seededSource.js';
 
 type FaultKind = SoakFault['kind'];
 
@@ -100,7 +100,7 @@
  * @returns the faults in the order of their instants
  */
 export const planSoak = (seed: number, durationMs: Millis): readonly TimedFault[] => {
-  const random = createRandomSource(seed);
+  const random = createSeededSource(seed, 'faults');
   const faults: TimedFault[] = [];
   const gapMs = FAULT_GAP_MS * pickOne(random, PACES);
   let at = FAULT_GAP_MS;
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -32,8 +32,8 @@
 import { assertNever } from '../core/assertNever.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Clock, Millis } from '../core/clock.js';
-import { createRandomSource } from '../core/random.js';
 import type { RandomSource } from '../core/random.js';
+import { createSeededSource } from '../standins/common/seededSource.js';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -368,7 +368,7 @@
   for (const gateway of soak.gateways) gateway.start();
   await wait(START_MS);
   const callers = Array.from({ length: CALLERS }, (_, index) =>
-    runCaller(soak, index, createRandomSource(seed + index + 1)),
+    runCaller(soak, index, createSeededSource(seed, `caller ${index.toString()}`)),
   );
   const plan = planSoak(seed, durationMs);
   const faults = plan.map(async ({ at, fault }) => {
