--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -19,7 +19,7 @@
 export const PEER_FORGET_MS = 15_000;
 
 /** Peers that get a report; at larger sizes each daemon reports to a part of the others. */
-export const MAX_REPORT_TARGETS = 16;
+export const MAX_REPORT_TARGETS = 32;
 
 /** Endpoints that leave in one report, and how long each is named. */
 export const MAX_NAMED_LEAVING = 16;
