--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -232,6 +232,9 @@
   return refuseRequest(forwarding, failure, context);
 };
 
+const isSameLife = (left: EndpointRecord, right: EndpointRecord): boolean =>
+  left.id === right.id && left.startedAt === right.startedAt;
+
 /**
  * Goes on with a generation at the endpoint that keeps its copy.
  *
@@ -248,7 +251,8 @@
   context: RequestsContext,
 ): Effects | null => {
   const candidates = listCandidates(forwarding, context);
-  const candidate = candidates.find(({ record }) => record.id === endpoint.id);
+  // An endpoint that started again under its id knows nothing of the copy.
+  const candidate = candidates.find(({ record }) => isSameLife(record, endpoint));
   if (candidate === undefined) return null;
   const plan = { candidate, purpose: 'continuation', copy } as const;
   return openAttempt(forwarding, plan, candidates, context);
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -153,6 +153,23 @@
   t.is(next?.head.lastEventId, '9');
 });
 
+// Guards against a generation that begins anew at a target which has lost the copy: its caller would
+// get parts of two runs.
+test('a copy is not used at a new life of its holder', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  startLeaving(harness);
+  endStep(harness, order, COPIED);
+  harness.endpoints.splice(
+    0,
+    harness.endpoints.length,
+    ...harness.endpoints.map((record) => ({ ...record, startedAt: 2 })),
+  );
+  const effects = endStep(harness, order, COPIED);
+  t.deepEqual(findOrders(effects), []);
+  t.truthy(findEffect(effects, 'break-answer'));
+});
+
 // Guards against memory that stays taken by the copy of a generation that has ended.
 test('a copy is freed when the generation ends first', (t) => {
   const harness = createRequestsHarness();
