--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -24,7 +24,7 @@
 export const MIN_REGISTRATIONS_PAUSE_MS = 350;
 
 /** Part of the time to learn that an endpoint leaves which a pause may take. */
-export const PAUSE_SHARE = 0.6;
+export const PAUSE_SHARE = 0.3;
 
 /** Time for an overdue answer and the next read, on top of a wait on a silent connection. */
 export const SILENT_READ_MS = 1_500;
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -1,14 +1,6 @@
-/** Interval between reports to the other daemons in a fleet of `REPORT_DAEMONS` or fewer. */
+/** Interval between reports to the other daemons; placements by older loads crowd the same engines. */
 export const REPORT_INTERVAL_MS = 80;
 
-/**
- * Daemons above which reports go out more slowly, so that a daemon's bytes do not grow with the fleet
- * times its targets: the more daemons there are, the less each one adds to the load of an endpoint.
- * What others wait for is reported at once at any size.
- */
-export const REPORT_DAEMONS = 8;
-export const MAX_REPORT_INTERVAL_MS = 400;
-
 /** Age from which the load of a peer no longer counts. */
 export const PEER_LOAD_AGE_MS = 1_500;
 
@@ -19,7 +11,7 @@
 export const PEER_FORGET_MS = 15_000;
 
 /** Peers that get a report; at larger sizes each daemon reports to a part of the others. */
-export const MAX_REPORT_TARGETS = 32;
+export const MAX_REPORT_TARGETS = 16;
 
 /** Endpoints that leave in one report, and how long each is named. */
 export const MAX_NAMED_LEAVING = 16;
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -8,8 +8,6 @@
   MAX_REPORT_TARGETS,
   PEER_FORGET_MS,
   PEER_LOAD_AGE_MS,
-  MAX_REPORT_INTERVAL_MS,
-  REPORT_DAEMONS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
   TURN_REPORTS,
@@ -77,12 +75,6 @@
  */
 export const countDaemons = (state: PeersState): number => state.peers.size + 1;
 
-const computeInterval = (state: PeersState): Millis =>
-  Math.min(
-    MAX_REPORT_INTERVAL_MS,
-    REPORT_INTERVAL_MS * Math.max(1, countDaemons(state) / REPORT_DAEMONS),
-  );
-
 /** A daemon's next generation to take from an endpoint that leaves. */
 export interface TransferTurn {
   readonly source: EndpointId;
@@ -102,7 +94,7 @@
 export const hasPeerBefore = (state: PeersState, turn: TransferTurn, now: Millis): boolean =>
   [...state.peers.values()].some(
     ({ heardAt, message }) =>
-      now - heardAt <= TURN_REPORTS * computeInterval(state) &&
+      now - heardAt <= TURN_REPORTS * REPORT_INTERVAL_MS &&
       message.transfers.some(
         ([source, worth]) =>
           source === turn.source &&
@@ -158,7 +150,7 @@
     next,
     {
       kind: 'schedule',
-      delayMs: computeInterval(state),
+      delayMs: REPORT_INTERVAL_MS,
       event: { to: 'peers', kind: 'report-due' },
     },
     sendReport(state, inputs),
