--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -22,22 +22,12 @@
   waitingTokens: left.waitingTokens + right.waitingTokens,
 });
 
-/**
- * Counts the output tokens that a generation has made.
- *
- * @param forwarding - request
- * @returns tokens
- */
-export const countMade = ({ eventsShown, service }: Forwarding): number =>
+/** Output tokens that a generation has made. */
+const countMade = ({ eventsShown, service }: Forwarding): number =>
   eventsShown * (service.engine?.tokensPerEvent ?? 1);
 
-/**
- * Computes the memory that a generation takes now, with what it is about to grow by.
- *
- * @param forwarding - request
- * @returns tokens
- */
-export const computeTokens = (forwarding: Forwarding): number => {
+/** Memory that a generation takes now, with what it is about to grow by. */
+const computeTokens = (forwarding: Forwarding): number => {
   const { demand } = forwarding.request;
   if (demand === null) return 0;
   const made = countMade(forwarding);
