Do not begin a generation anew when its target refuses it after a transfer

A memo was moved; its target had started again and answered 421, and the memo was placed at a third worker as if it had never run. A transfer took the first attempt away without counting that it had run.

Change: going on from a copy counts as having run. The new test failed before.

--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -254,6 +254,8 @@
   // An endpoint that started again under its id knows nothing of the copy.
   const candidate = candidates.find(({ record }) => isSameLife(record, endpoint));
   if (candidate === undefined) return null;
+  // The run before has begun, so a refusal of this attempt does not make room for a new run.
+  forwarding.verdict = 'may-have-run';
   const plan = { candidate, purpose: 'continuation', copy } as const;
   return openAttempt(forwarding, plan, candidates, context);
 };
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -170,6 +170,21 @@
   t.truthy(findEffect(effects, 'break-answer'));
 });
 
+// Guards against a second run of a generation whose target refuses it after the source stopped: its
+// caller would get parts of two runs (hunt of clt-pool, trouble-1, seed 164376420051).
+test('a generation that its target refuses after a transfer does not begin anew', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  startLeaving(harness);
+  endStep(harness, order, COPIED);
+  const [next] = findOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
+  harness.post({ ...toEvent(next), kind: 'attempt-sent' });
+  const head = { ...SIGNED, status: 421, signature: 'unsigned', proof: 'not-run' } as const;
+  const effects = harness.post({ ...toEvent(next), kind: 'answer-started', head });
+  t.deepEqual(findOrders([...effects, ...harness.wait(500)]), []);
+  t.truthy(findEffect(effects, 'break-answer'));
+});
+
 // Guards against memory that stays taken by the copy of a generation that has ended.
 test('a copy is freed when the generation ends first', (t) => {
   const harness = createRequestsHarness();
