Give the refusal of the transfer test the id of its request

The answer carried the id of another request, so the test failed for that reason before and after the change.

--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -179,7 +179,8 @@
   endStep(harness, order, COPIED);
   const [next] = findOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
   harness.post({ ...toEvent(next), kind: 'attempt-sent' });
-  const head = { ...SIGNED, status: 421, signature: 'unsigned', proof: 'not-run' } as const;
+  const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
+  const head = { ...SIGNED, ...refusal, requestId: 'r-0' };
   const effects = harness.post({ ...toEvent(next), kind: 'answer-started', head });
   t.deepEqual(findOrders([...effects, ...harness.wait(500)]), []);
   t.truthy(findEffect(effects, 'break-answer'));
