Rename local identifiers of core

isKept, isOver, drainTurn, isOwn, startNamed, performAll and single-word parameters (what, known, again) did not say what they stand for. They are now isExemptFromRateLimit, isRateLimited, handleBatch, isForThisChild, startChildByName, performEffects, recordName, supported and reencoded.

--- a/packages/core/events/lineWriter.ts
+++ b/packages/core/events/lineWriter.ts
@@ -4,17 +4,18 @@
 import type { Clock, Millis } from '../clock.js';
 
 /** Lines of one kind of event in a window; more are counted and left out. */
-const MAX_LINES = 200;
+const MAX_LINES_PER_WINDOW = 200;
 
 const WINDOW_MS: Millis = 1_000;
 
 /** Bytes that wait for a slow reader of the output; more lines are counted and left out. */
-const MAX_WAITING_BYTES = 512 * 1024;
+const MAX_BUFFERED_BYTES = 512 * 1024;
 
 /** Events that are written whatever their rate, as they explain failed requests. */
-const isKept = (event: LoggedEvent): boolean => event.level === 'warn' || event.level === 'error';
+const isExemptFromRateLimit = (event: LoggedEvent): boolean =>
+  event.level === 'warn' || event.level === 'error';
 
-interface LineWindow {
+interface RateLimitWindow {
   startedAt: Millis;
   written: number;
   leftOut: number;
@@ -33,7 +34,7 @@
   output: Writable,
   clock: Clock,
 ): ((event: LoggedEvent) => void) => {
-  const windows = new Map<string, LineWindow>();
+  const windows = new Map<string, RateLimitWindow>();
   const consola = createConsola({
     level: 3,
     reporters: [
@@ -45,19 +46,19 @@
     ],
   });
 
-  const findWindow = (name: string): LineWindow => {
+  const findWindow = (name: string): RateLimitWindow => {
     const now = clock.now();
-    const known = windows.get(name);
-    if (known !== undefined && now - known.startedAt < WINDOW_MS) return known;
-    const next = { startedAt: now, written: 0, leftOut: known?.leftOut ?? 0 };
+    const current = windows.get(name);
+    if (current !== undefined && now - current.startedAt < WINDOW_MS) return current;
+    const next = { startedAt: now, written: 0, leftOut: current?.leftOut ?? 0 };
     windows.set(name, next);
     return next;
   };
 
   return (event) => {
     const window = findWindow(event.name);
-    const isOver = window.written >= MAX_LINES && !isKept(event);
-    if (isOver || output.writableLength > MAX_WAITING_BYTES) {
+    const isRateLimited = window.written >= MAX_LINES_PER_WINDOW && !isExemptFromRateLimit(event);
+    if (isRateLimited || output.writableLength > MAX_BUFFERED_BYTES) {
       window.leftOut += 1;
       return;
     }
--- a/packages/core/jsonText.ts
+++ b/packages/core/jsonText.ts
@@ -32,9 +32,9 @@
   return Err(describeError(text, error instanceof Error ? error.message : String(error)));
 };
 
-const findBadByte = (bytes: Uint8Array, text: string): number => {
-  const again = new TextEncoder().encode(text);
-  const offset = bytes.findIndex((byte, index) => byte !== again[index]);
+const findInvalidByteOffset = (bytes: Uint8Array, text: string): number => {
+  const reencoded = new TextEncoder().encode(text);
+  const offset = bytes.findIndex((byte, index) => byte !== reencoded[index]);
   return offset < 0 ? bytes.length : offset;
 };
 
@@ -48,5 +48,5 @@
 export const parseJsonBytes = (bytes: Uint8Array): Result<unknown, string> => {
   const text = Buffer.from(bytes).toString('utf8');
   if (isUtf8(bytes)) return parseJsonText(text);
-  return Err(`malformed UTF-8 at offset ${findBadByte(bytes, text).toString()}`);
+  return Err(`malformed UTF-8 at offset ${findInvalidByteOffset(bytes, text).toString()}`);
 };
--- a/packages/core/loop/constants.ts
+++ b/packages/core/loop/constants.ts
@@ -2,6 +2,6 @@
 export const NEW_REQUEST_QUEUE_SHARE = 0.75;
 
 /** Events handled before I/O gets a turn; bounds the delay of socket reads under load. */
-export const EVENTS_PER_TURN = 256;
+export const MAX_EVENTS_PER_BATCH = 256;
 
 export const DEFAULT_QUEUE_CAPACITY = 65_536;
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -1,4 +1,4 @@
-import { EVENTS_PER_TURN, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
+import { MAX_EVENTS_PER_BATCH, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
 import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
 import { assertNever } from '../assertNever.js';
 import type { Millis } from '../clock.js';
@@ -43,8 +43,8 @@
 
   const getDepth = (): number => queue.length - head;
 
-  const drainTurn = (): void => {
-    for (let handled = 0; handled < EVENTS_PER_TURN && getDepth() > 0; handled += 1) {
+  const handleBatch = (): void => {
+    for (let handled = 0; handled < MAX_EVENTS_PER_BATCH && getDepth() > 0; handled += 1) {
       const event = queue[head] as Event;
       head += 1;
       try {
@@ -60,11 +60,11 @@
       state = 'idle';
       return;
     }
-    if (head > EVENTS_PER_TURN * 4) {
+    if (head > MAX_EVENTS_PER_BATCH * 4) {
       queue = queue.slice(head);
       head = 0;
     }
-    setImmediate(drainTurn);
+    setImmediate(handleBatch);
   };
 
   const post = (event: Event): PostResult => {
@@ -74,7 +74,7 @@
     queue.push(event);
     if (state === 'idle') {
       state = 'scheduled';
-      queueMicrotask(drainTurn);
+      queueMicrotask(handleBatch);
     }
     return result;
   };
--- a/packages/core/metrics/deferredMetrics.ts
+++ b/packages/core/metrics/deferredMetrics.ts
@@ -11,7 +11,7 @@
 }
 
 /** Records kept until the libraries are loaded; more are left out. */
-const MAX_PENDING = 10_000;
+const MAX_PENDING_RECORDS = 10_000;
 
 /**
  * Creates metrics that keep their records until the libraries behind them are loaded, so that a
@@ -24,12 +24,12 @@
   let loading: Promise<Metrics> | null = null;
   const pending: ((metrics: Metrics) => void)[] = [];
 
-  const record = (apply: (metrics: Metrics) => void): void => {
+  const applyWhenLoaded = (apply: (metrics: Metrics) => void): void => {
     if (loaded !== null) apply(loaded);
-    else if (pending.length < MAX_PENDING) pending.push(apply);
+    else if (pending.length < MAX_PENDING_RECORDS) pending.push(apply);
   };
 
-  const open = async (): Promise<Metrics> => {
+  const loadMetrics = async (): Promise<Metrics> => {
     const { createMetrics } = await import('./metrics.js');
     const metrics = createMetrics();
     for (const apply of pending.splice(0)) apply(metrics);
@@ -37,22 +37,22 @@
     return metrics;
   };
 
-  const getMetrics = (): Promise<Metrics> => (loading ??= open());
+  const getOrLoadMetrics = (): Promise<Metrics> => (loading ??= loadMetrics());
 
   return {
     addCount: (name, labels) => {
-      record((metrics) => {
+      applyWhenLoaded((metrics) => {
         metrics.addCount(name, labels);
       });
     },
     recordLatency: (name, className, duration) => {
-      record((metrics) => {
+      applyWhenLoaded((metrics) => {
         metrics.recordLatency(name, className, duration);
       });
     },
-    renderText: async () => (await getMetrics()).renderText(),
+    renderText: async () => (await getOrLoadMetrics()).renderText(),
     load: async () => {
-      await getMetrics();
+      await getOrLoadMetrics();
     },
   };
 };
--- a/packages/core/metrics/latency.ts
+++ b/packages/core/metrics/latency.ts
@@ -11,7 +11,7 @@
 export interface LatencyHistogram {
   readonly record: (duration: Millis) => void;
   /** Returns the duration below which `share` (0 to 1) of the samples lie, in milliseconds. */
-  readonly getQuantile: (share: number) => Millis;
+  readonly getQuantile: (quantile: number) => Millis;
   readonly getCount: () => number;
   readonly getMean: () => Millis;
   readonly getMax: () => Millis;
@@ -35,7 +35,7 @@
       const micros = Math.round(Math.max(0, duration) * MICROS_PER_MILLI);
       histogram.recordValue(Math.min(micros, HIGHEST_TRACKABLE_MICROS));
     },
-    getQuantile: (share) => histogram.getValueAtPercentile(share * 100) / MICROS_PER_MILLI,
+    getQuantile: (quantile) => histogram.getValueAtPercentile(quantile * 100) / MICROS_PER_MILLI,
     getCount: () => histogram.totalCount,
     getMean: () => histogram.mean / MICROS_PER_MILLI,
     getMax: () => histogram.maxValue / MICROS_PER_MILLI,
--- a/packages/core/metrics/metrics.ts
+++ b/packages/core/metrics/metrics.ts
@@ -27,8 +27,8 @@
   const latencies = new Map<string, Map<string, LatencyHistogram>>();
 
   const findGauge = (name: string, labelNames: readonly string[]): Gauge => {
-    const known = gauges.get(name);
-    if (known !== undefined) return known;
+    const existing = gauges.get(name);
+    if (existing !== undefined) return existing;
     const help = name.replaceAll('_', ' ');
     const gauge = new Gauge({ name, help, labelNames: [...labelNames], registers: [registry] });
     gauges.set(name, gauge);
@@ -36,10 +36,10 @@
   };
 
   const publishLatencies = (): void => {
-    for (const [name, classes] of latencies) {
+    for (const [name, histogramsByClass] of latencies) {
       const gauge = findGauge(name, ['class', 'quantile']);
       const count = findGauge(`${name}_count`, ['class']);
-      for (const [className, histogram] of classes) {
+      for (const [className, histogram] of histogramsByClass) {
         count.set({ class: className }, histogram.getCount());
         for (const quantile of QUANTILES) {
           const labels = { class: className, quantile: quantile.toString() };
@@ -54,10 +54,10 @@
       findGauge(name, Object.keys(labels)).inc({ ...labels });
     },
     recordLatency: (name, className, duration) => {
-      const classes = latencies.get(name) ?? new Map<string, LatencyHistogram>();
-      latencies.set(name, classes);
-      const histogram = classes.get(className) ?? createLatencyHistogram();
-      classes.set(className, histogram);
+      const histogramsByClass = latencies.get(name) ?? new Map<string, LatencyHistogram>();
+      latencies.set(name, histogramsByClass);
+      const histogram = histogramsByClass.get(className) ?? createLatencyHistogram();
+      histogramsByClass.set(className, histogram);
       histogram.record(duration);
     },
     setGauge: (name, value) => {
--- a/packages/core/recordFormat.ts
+++ b/packages/core/recordFormat.ts
@@ -8,13 +8,17 @@
  * Checks the format number of a log record before its other fields, whose meaning depends on it.
  *
  * @param json - decoded JSON of a record
- * @param known - format that this version reads
- * @param what - name of the record in the message
+ * @param supported - format that this version reads
+ * @param recordName - name of the record in the message
  * @returns a failure with code `unsupported-format`, or null for a known or absent format
  */
-export const checkRecordFormat = (json: unknown, known: number, what: string): Failure | null => {
+export const checkRecordFormat = (
+  json: unknown,
+  supported: number,
+  recordName: string,
+): Failure | null => {
   const format = readFormat(json);
-  if (typeof format !== 'number' || format === known) return null;
-  const text = `${what}: field "format": format ${format.toString()} is unknown; this process reads ${known.toString()}`;
-  return createFailure('not-run', 'unsupported-format', text);
+  if (typeof format !== 'number' || format === supported) return null;
+  const message = `${recordName}: field "format": format ${format.toString()} is unknown; this process reads ${supported.toString()}`;
+  return createFailure('not-run', 'unsupported-format', message);
 };
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -32,14 +32,14 @@
   options: DaemonOptions<Event, Effect>,
 ): Daemon<Event> => {
   let root: RunningChild<Event, Effect> | undefined;
-  const performAll = (effects: readonly Effect[]): void => {
+  const performEffects = (effects: readonly Effect[]): void => {
     for (const effect of effects) options.perform(effect);
   };
   const loop = createLoop<Event>({
     capacity: options.capacity ?? DEFAULT_QUEUE_CAPACITY,
     classify: options.classify,
     handle: (event) => {
-      if (root !== undefined) performAll(root.handle(event));
+      if (root !== undefined) performEffects(root.handle(event));
     },
     onFault: options.onFault,
   });
@@ -47,10 +47,10 @@
     loop,
     start: () => {
       root = options.startRoot();
-      performAll(root.started);
+      performEffects(root.started);
     },
     stop: () => {
-      if (root !== undefined) performAll(root.stop());
+      if (root !== undefined) performEffects(root.stop());
       root = undefined;
       loop.stop();
     },
--- a/packages/core/supervision/restart.ts
+++ b/packages/core/supervision/restart.ts
@@ -10,16 +10,16 @@
 /** Instants of recent restarts, oldest first. */
 export type RestartHistory = readonly Millis[];
 
-const listAffected = (
+const listAffectedChildren = (
   strategy: RestartStrategy,
   names: readonly string[],
-  failed: string,
+  failedChild: string,
 ): readonly string[] => {
   switch (strategy) {
     case 'one-for-one':
-      return [failed];
+      return [failedChild];
     case 'rest-for-one':
-      return names.slice(names.indexOf(failed));
+      return names.slice(names.indexOf(failedChild));
     case 'one-for-all':
       return names;
     default:
@@ -45,7 +45,7 @@
  * @param rule - restart rule of the failed child
  * @param strategy - which children restart with it
  * @param names - all children in start order
- * @param failed - name of the failed child
+ * @param failedChild - name of the failed child
  * @param intensity - restarts allowed within a window
  * @param history - earlier restarts
  * @param now - current instant
@@ -55,18 +55,18 @@
   rule: RestartRule,
   strategy: RestartStrategy,
   names: readonly string[],
-  failed: string,
+  failedChild: string,
   intensity: RestartIntensity,
   history: RestartHistory,
   now: Millis,
 ): { readonly decision: RestartDecision; readonly history: RestartHistory } => {
   if (!isRestartable(rule)) return { decision: { kind: 'remove' }, history };
-  const recent = history.filter((at) => at > now - intensity.withinMs);
-  if (recent.length >= intensity.restarts) {
-    return { decision: { kind: 'escalate' }, history: recent };
+  const recentRestarts = history.filter((at) => at > now - intensity.withinMs);
+  if (recentRestarts.length >= intensity.restarts) {
+    return { decision: { kind: 'escalate' }, history: recentRestarts };
   }
   return {
-    decision: { kind: 'restart', children: listAffected(strategy, names, failed) },
-    history: [...recent, now],
+    decision: { kind: 'restart', children: listAffectedChildren(strategy, names, failedChild) },
+    history: [...recentRestarts, now],
   };
 };
--- a/packages/core/supervision/routedChild.ts
+++ b/packages/core/supervision/routedChild.ts
@@ -2,7 +2,7 @@
 import type { ChildLogic, ChildSpec, StateSource } from './types.js';
 
 /** Event that names the child that handles it. */
-interface Routed {
+interface RoutedEvent {
   readonly to: string;
 }
 
@@ -21,18 +21,24 @@
  * @param options - decisions of the child and the source of its state
  * @returns the specification for the supervisor
  */
-export const buildRoutedChild = <Whole extends Routed, Name extends Whole['to'], State, Effect>(
+export const buildRoutedChild = <
+  TreeEvent extends RoutedEvent,
+  Name extends TreeEvent['to'],
+  State,
+  Effect,
+>(
   name: Name,
-  options: RoutedChildOptions<State, Extract<Whole, { to: Name }>, Effect>,
-): ChildSpec<Whole, Effect> => {
-  const isOwn = (event: Whole): event is Extract<Whole, { to: Name }> => event.to === name;
+  options: RoutedChildOptions<State, Extract<TreeEvent, { to: Name }>, Effect>,
+): ChildSpec<TreeEvent, Effect> => {
+  const isForThisChild = (event: TreeEvent): event is Extract<TreeEvent, { to: Name }> =>
+    event.to === name;
   return {
     name,
     restart: 'permanent',
     rebuildsFrom: options.rebuildsFrom,
     start: () => {
       const child = startChild(options.createLogic(), options.publish ?? (() => undefined));
-      return { ...child, handle: (event) => (isOwn(event) ? child.handle(event) : []) };
+      return { ...child, handle: (event) => (isForThisChild(event) ? child.handle(event) : []) };
     },
   };
 };
--- a/packages/core/supervision/supervisor.ts
+++ b/packages/core/supervision/supervisor.ts
@@ -25,11 +25,11 @@
   logic: ChildLogic<State, Event, Effect>,
   publish: (state: State) => void,
 ): RunningChild<Event, Effect> => {
-  const first = logic.init();
-  let state = first.state;
+  const initial = logic.init();
+  let state = initial.state;
   publish(state);
   return {
-    started: first.effects,
+    started: initial.effects,
     handle: (event) => {
       const step = logic.decide(state, event);
       state = step.state;
@@ -59,20 +59,20 @@
   const running = new Map<string, RunningChild<Event, Effect>>();
   let history: RestartHistory = [];
 
-  const startNamed = (name: string): readonly Effect[] => {
+  const startChildByName = (name: string): readonly Effect[] => {
     const child = specs.get(name) as ChildSpec<Event, Effect>;
     const started = child.start();
     running.set(name, started);
     return started.started;
   };
 
-  const stopNamed = (name: string): readonly Effect[] => {
+  const stopChildByName = (name: string): readonly Effect[] => {
     const child = running.get(name);
     running.delete(name);
     return child?.stop() ?? [];
   };
 
-  const restartAfter = (failed: ChildSpec<Event, Effect>, error: unknown): readonly Effect[] => {
+  const handleFailure = (failed: ChildSpec<Event, Effect>, error: unknown): readonly Effect[] => {
     onFailure({
       supervisor: spec.name,
       child: failed.name,
@@ -97,8 +97,8 @@
         throw new SupervisorEscalation(spec.name, error);
       case 'restart': {
         const affected = outcome.decision.children;
-        const stopping = [...affected].reverse().flatMap(stopNamed);
-        return [...stopping, ...affected.flatMap(startNamed)];
+        const stopEffects = [...affected].reverse().flatMap(stopChildByName);
+        return [...stopEffects, ...affected.flatMap(startChildByName)];
       }
       default:
         return assertNever(outcome.decision);
@@ -112,13 +112,13 @@
     try {
       return child.handle(event);
     } catch (error) {
-      return restartAfter(specs.get(name) as ChildSpec<Event, Effect>, error);
+      return handleFailure(specs.get(name) as ChildSpec<Event, Effect>, error);
     }
   };
 
   return {
-    started: names.flatMap(startNamed),
+    started: names.flatMap(startChildByName),
     handle,
-    stop: () => [...names].reverse().flatMap(stopNamed),
+    stop: () => [...names].reverse().flatMap(stopChildByName),
   };
 };
