Rename local identifiers of wire and settings

Schema builders such as buildName read as if they built the value; they are now buildNameSchema and so on. NAMES_AT, sign, need and parseWith are NAMES_OFFSET, computeMac, presence and validateWithSchema, and the link constants speak of connections, which is what is pinged.

--- a/packages/settings/duplicates.ts
+++ b/packages/settings/duplicates.ts
@@ -4,13 +4,13 @@
  * Reports each item whose key field repeats that of an earlier item.
  *
  * @param items - items of one list
- * @param list - field that holds the list
+ * @param listName - field that holds the list
  * @param key - field that must be unique in the list
  * @param context - receives the problems
  */
-export const addDuplicateProblems = <Key extends string>(
+export const addDuplicateIssues = <Key extends string>(
   items: readonly Readonly<Record<Key, string>>[],
-  list: string,
+  listName: string,
   key: Key,
   context: z.RefinementCtx,
 ): void => {
@@ -19,8 +19,8 @@
     if (seen.has(item[key])) {
       context.addIssue({
         code: 'custom',
-        path: [list, index, key],
-        message: `expected a ${key} that no earlier item of ${list} has`,
+        path: [listName, index, key],
+        message: `expected a ${key} that no earlier item of ${listName} has`,
       });
     }
     seen.add(item[key]);
--- a/packages/settings/endpointSchema.ts
+++ b/packages/settings/endpointSchema.ts
@@ -16,41 +16,41 @@
 } from './constants.js';
 import {
   LOG_SCHEMA,
-  buildAddress,
-  buildCount,
-  buildDuration,
-  buildName,
-  buildShare,
-  buildUrl,
+  buildAddressSchema,
+  buildCountSchema,
+  buildDurationSchema,
+  buildNameSchema,
+  buildShareSchema,
+  buildUrlSchema,
 } from './fields.js';
 
 const TARGET_SCHEMA = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('model'),
-    engineUrl: buildUrl('URL of the model engine beside the daemon.'),
-    model: buildName('Model that the engine serves.'),
-    version: buildName('Version of the model.'),
+    engineUrl: buildUrlSchema('URL of the model engine beside the daemon.'),
+    model: buildNameSchema('Model that the engine serves.'),
+    version: buildNameSchema('Version of the model.'),
     fencing: z
       .enum(['checked', 'ignored'])
       .describe('Whether the engine refuses an order with an old fencing number.'),
   }),
   z.strictObject({
     kind: z.literal('service'),
-    serviceUrl: buildUrl('URL of the plain service beside the daemon.'),
-    service: buildName('Name of the service.'),
-    version: buildName('Version of the service.'),
+    serviceUrl: buildUrlSchema('URL of the plain service beside the daemon.'),
+    service: buildNameSchema('Name of the service.'),
+    version: buildNameSchema('Version of the service.'),
   }),
 ]);
 
 const ADMISSION_SCHEMA = z
   .strictObject({
-    startLimit: buildCount(DEFAULT_START_LIMIT, 'Concurrent sequences after a start.'),
-    maxLimit: buildCount(DEFAULT_MAX_LIMIT, 'Largest admission limit.'),
-    evidenceTokens: buildCount(
+    startLimit: buildCountSchema(DEFAULT_START_LIMIT, 'Concurrent sequences after a start.'),
+    maxLimit: buildCountSchema(DEFAULT_MAX_LIMIT, 'Largest admission limit.'),
+    evidenceTokens: buildCountSchema(
       DEFAULT_EVIDENCE_TOKENS,
       'Tokens of each sequence that let the limit grow by a quarter; fewer for an engine that warms up fast.',
     ),
-    memorySafetyShare: buildShare('Share of engine memory that is kept free.').optional(),
+    memorySafetyShare: buildShareSchema('Share of engine memory that is kept free.').optional(),
   })
   .refine((admission) => admission.startLimit <= admission.maxLimit, {
     path: ['startLimit'],
@@ -60,13 +60,16 @@
 
 const BUFFER_SCHEMA = z
   .strictObject({
-    maxChunks: buildCount(DEFAULT_MAX_CHUNKS, 'Chunks that are kept of one generation.'),
-    maxTotalBytes: buildCount(DEFAULT_BUFFER_BYTES, 'Bytes of the chunks of all generations.'),
-    retentionMs: buildDuration(
+    maxChunks: buildCountSchema(DEFAULT_MAX_CHUNKS, 'Chunks that are kept of one generation.'),
+    maxTotalBytes: buildCountSchema(
+      DEFAULT_BUFFER_BYTES,
+      'Bytes of the chunks of all generations.',
+    ),
+    retentionMs: buildDurationSchema(
       DEFAULT_BUFFER_RETENTION_MS,
       'Time for which a finished generation can be resumed.',
     ),
-    orphanTimeoutMs: buildDuration(
+    orphanTimeoutMs: buildDurationSchema(
       DEFAULT_ORPHAN_TIMEOUT_MS,
       'Time after which a generation without a reader is cancelled.',
     ),
@@ -75,8 +78,11 @@
 
 const ANSWERS_SCHEMA = z
   .strictObject({
-    maxBytes: buildCount(DEFAULT_ANSWER_BYTES, 'Bytes of the kept answers of plain services.'),
-    retentionMs: buildDuration(
+    maxBytes: buildCountSchema(
+      DEFAULT_ANSWER_BYTES,
+      'Bytes of the kept answers of plain services.',
+    ),
+    retentionMs: buildDurationSchema(
       DEFAULT_ANSWER_RETENTION_MS,
       'Time for which the answer of a non-repeatable call is kept.',
     ),
@@ -85,12 +91,12 @@
 
 const HEARTBEAT_SCHEMA = z
   .strictObject({
-    intervalMs: buildDuration(DEFAULT_HEARTBEAT_INTERVAL_MS, 'Time between two heartbeats.'),
-    leaseMs: buildDuration(
+    intervalMs: buildDurationSchema(DEFAULT_HEARTBEAT_INTERVAL_MS, 'Time between two heartbeats.'),
+    leaseMs: buildDurationSchema(
       DEFAULT_LEASE_MS,
       'Age of the last acknowledged heartbeat beyond which new work is refused.',
     ),
-    subsetSize: buildCount(DEFAULT_SUBSET_SIZE, 'Entry daemons that receive the heartbeats.'),
+    subsetSize: buildCountSchema(DEFAULT_SUBSET_SIZE, 'Entry daemons that receive the heartbeats.'),
   })
   .refine((heartbeat) => heartbeat.intervalMs < heartbeat.leaseMs, {
     path: ['intervalMs'],
@@ -100,18 +106,18 @@
 
 /** Schema of the settings of an endpoint daemon. */
 export const ENDPOINT_SCHEMA = z.strictObject({
-  process: buildName('Name of the process in events and time lines.'),
-  instance: buildName('Instance on which the process runs, as in the instance list.'),
-  endpoint: buildName('Name of the endpoint.'),
-  dataCentre: buildName('Data centre of the instance.'),
-  http: buildAddress('the health, metrics and debug pages'),
-  rpc: buildAddress('the interface for entry daemons'),
-  platform: z.strictObject({ listUrl: buildUrl("URL of the platform's instance list.") }),
+  process: buildNameSchema('Name of the process in events and time lines.'),
+  instance: buildNameSchema('Instance on which the process runs, as in the instance list.'),
+  endpoint: buildNameSchema('Name of the endpoint.'),
+  dataCentre: buildNameSchema('Data centre of the instance.'),
+  http: buildAddressSchema('the health, metrics and debug pages'),
+  rpc: buildAddressSchema('the interface for entry daemons'),
+  platform: z.strictObject({ listUrl: buildUrlSchema("URL of the platform's instance list.") }),
   target: TARGET_SCHEMA,
   admission: ADMISSION_SCHEMA,
   buffer: BUFFER_SCHEMA,
   answers: ANSWERS_SCHEMA,
   heartbeat: HEARTBEAT_SCHEMA,
-  drainMs: buildDuration(DEFAULT_DRAIN_MS, 'Time for running streams when the daemon stops.'),
+  drainMs: buildDurationSchema(DEFAULT_DRAIN_MS, 'Time for running streams when the daemon stops.'),
   log: LOG_SCHEMA,
 });
--- a/packages/settings/entrySchema.ts
+++ b/packages/settings/entrySchema.ts
@@ -12,26 +12,26 @@
 } from './constants.js';
 import {
   LOG_SCHEMA,
-  buildAddress,
-  buildCount,
-  buildDuration,
-  buildKeyHash,
-  buildName,
-  buildShare,
-  buildUrl,
+  buildAddressSchema,
+  buildCountSchema,
+  buildDurationSchema,
+  buildKeyHashSchema,
+  buildNameSchema,
+  buildShareSchema,
+  buildUrlSchema,
 } from './fields.js';
-import { addDuplicateProblems } from './duplicates.js';
+import { addDuplicateIssues } from './duplicates.js';
 
 const CUSTOMER_SCHEMA = z.strictObject({
-  id: buildName('Name of the customer.'),
-  keyHash: buildKeyHash("SHA-256 of the customer's bearer key in hexadecimal."),
+  id: buildNameSchema('Name of the customer.'),
+  keyHash: buildKeyHashSchema("SHA-256 of the customer's bearer key in hexadecimal."),
   weight: z.number().positive().default(1).describe('Share of the customer in a crowded queue.'),
-  defaultClass: buildName('Class of requests without X-Chestnutspan-Class.').optional(),
+  defaultClass: buildNameSchema('Class of requests without X-Chestnutspan-Class.').optional(),
 });
 
 const OPERATOR_SCHEMA = z.strictObject({
-  name: buildName('Name of the operator; it becomes the author of records.'),
-  keyHash: buildKeyHash("SHA-256 of the operator's bearer key in hexadecimal."),
+  name: buildNameSchema('Name of the operator; it becomes the author of records.'),
+  keyHash: buildKeyHashSchema("SHA-256 of the operator's bearer key in hexadecimal."),
 });
 
 const ROUTE_SCHEMA = z.strictObject({
@@ -45,11 +45,11 @@
   repeat: z
     .enum(['allowed', 'never'])
     .describe('Whether a request may run more than once; `never` needs an idempotency key.'),
-  className: buildName('Class of the route, before the default of the customer.').optional(),
+  className: buildNameSchema('Class of the route, before the default of the customer.').optional(),
 });
 
 const SERVICE_SCHEMA = z.strictObject({
-  name: buildName('Name of the service in `/services/{name}/...`.'),
+  name: buildNameSchema('Name of the service in `/services/{name}/...`.'),
   routes: z.array(ROUTE_SCHEMA).min(1).describe('Routes; others are refused.'),
 });
 
@@ -63,12 +63,15 @@
       kind: z
         .literal('predicted-headroom')
         .describe('The endpoint whose memory is least likely to overflow; the default policy.'),
-      choices: buildCount(DEFAULT_POLICY.choices, 'Endpoints that are weighed for one request.'),
-      horizonMs: buildDuration(
+      choices: buildCountSchema(
+        DEFAULT_POLICY.choices,
+        'Endpoints that are weighed for one request.',
+      ),
+      horizonMs: buildDurationSchema(
         DEFAULT_POLICY.horizonMs,
         'Time ahead for which the overflow of memory is predicted.',
       ),
-      overflowProbability: buildShare(
+      overflowProbability: buildShareSchema(
         'Largest predicted probability of an overflow at which a request is admitted.',
       ).default(DEFAULT_POLICY.overflowProbability),
       prefixWeight: z
@@ -82,18 +85,18 @@
 
 const LIMITS_SCHEMA = z
   .strictObject({
-    maxBodyBytes: buildCount(DEFAULT_MAX_BODY_BYTES, 'Largest body of a request.'),
-    maxRequests: buildCount(DEFAULT_MAX_REQUESTS, 'Requests in progress; more are shed.'),
-    queueCapacity: buildCount(DEFAULT_QUEUE_CAPACITY, 'Requests that wait, for each class.'),
-    keyWindowMs: buildDuration(
+    maxBodyBytes: buildCountSchema(DEFAULT_MAX_BODY_BYTES, 'Largest body of a request.'),
+    maxRequests: buildCountSchema(DEFAULT_MAX_REQUESTS, 'Requests in progress; more are shed.'),
+    queueCapacity: buildCountSchema(DEFAULT_QUEUE_CAPACITY, 'Requests that wait, for each class.'),
+    keyWindowMs: buildDurationSchema(
       DEFAULT_KEY_WINDOW_MS,
       'Time for which the key of a non-repeatable call is remembered.',
     ),
-    maxUntimedKeys: buildCount(
+    maxUntimedKeys: buildCountSchema(
       DEFAULT_MAX_UNTIMED_KEYS,
       'Keys without a time of issue that are kept; more are refused.',
     ),
-    maxTimedKeys: buildCount(
+    maxTimedKeys: buildCountSchema(
       DEFAULT_MAX_TIMED_KEYS,
       'Keys with a time of issue that are kept; more are refused.',
     ),
@@ -103,15 +106,15 @@
 /** Schema of the settings of an entry daemon. */
 export const ENTRY_SCHEMA = z
   .strictObject({
-    process: buildName('Name of the process in events and time lines.'),
-    instance: buildName('Instance on which the process runs, as in the instance list.'),
-    dataCentre: buildName('Data centre of the instance.'),
-    callers: buildAddress("the callers' and operators' interface"),
-    rpc: buildAddress('the interface for endpoint daemons and peers'),
+    process: buildNameSchema('Name of the process in events and time lines.'),
+    instance: buildNameSchema('Instance on which the process runs, as in the instance list.'),
+    dataCentre: buildNameSchema('Data centre of the instance.'),
+    callers: buildAddressSchema("the callers' and operators' interface"),
+    rpc: buildAddressSchema('the interface for endpoint daemons and peers'),
     platform: z.strictObject({
-      logUrl: buildUrl("URL of the platform's log."),
-      listUrl: buildUrl("URL of the platform's instance list."),
-      weightsUrl: buildUrl("URL of the platform's weight store.").optional(),
+      logUrl: buildUrlSchema("URL of the platform's log."),
+      listUrl: buildUrlSchema("URL of the platform's instance list."),
+      weightsUrl: buildUrlSchema("URL of the platform's weight store.").optional(),
     }),
     ticketKey: z
       .string()
@@ -122,17 +125,20 @@
     customers: z.array(CUSTOMER_SCHEMA).describe('Customers that may call.'),
     operators: z.array(OPERATOR_SCHEMA).default([]).describe('Operators that may publish.'),
     services: z.array(SERVICE_SCHEMA).default([]).describe('Plain services.'),
-    models: z.array(buildName('Name of a served model.')).default([]),
+    models: z.array(buildNameSchema('Name of a served model.')).default([]),
     policy: POLICY_SCHEMA,
     limits: LIMITS_SCHEMA,
-    drainMs: buildDuration(DEFAULT_DRAIN_MS, 'Time for running requests when the daemon stops.'),
-    webhookUrl: buildUrl('URL that receives notifications for operators.').optional(),
+    drainMs: buildDurationSchema(
+      DEFAULT_DRAIN_MS,
+      'Time for running requests when the daemon stops.',
+    ),
+    webhookUrl: buildUrlSchema('URL that receives notifications for operators.').optional(),
     log: LOG_SCHEMA,
   })
   .superRefine((settings, context) => {
-    addDuplicateProblems(settings.customers, 'customers', 'id', context);
-    addDuplicateProblems(settings.customers, 'customers', 'keyHash', context);
-    addDuplicateProblems(settings.operators, 'operators', 'name', context);
-    addDuplicateProblems(settings.operators, 'operators', 'keyHash', context);
-    addDuplicateProblems(settings.services, 'services', 'name', context);
+    addDuplicateIssues(settings.customers, 'customers', 'id', context);
+    addDuplicateIssues(settings.customers, 'customers', 'keyHash', context);
+    addDuplicateIssues(settings.operators, 'operators', 'name', context);
+    addDuplicateIssues(settings.operators, 'operators', 'keyHash', context);
+    addDuplicateIssues(settings.services, 'services', 'name', context);
   });
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -9,9 +9,9 @@
 import type { SettingsByKind, SettingsKind, SettingsProblem } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-type Problems = readonly SettingsProblem[];
+type SettingsProblems = readonly SettingsProblem[];
 
-const parseWith = (kind: SettingsKind, value: unknown) => {
+const validateWithSchema = (kind: SettingsKind, value: unknown) => {
   switch (kind) {
     case 'entry':
       return ENTRY_SCHEMA.safeParse(value);
@@ -22,7 +22,7 @@
   }
 };
 
-const readText = (path: string): Result<string, Problems> => {
+const readText = (path: string): Result<string, SettingsProblems> => {
   try {
     return Ok(readFileSync(path, 'utf8'));
   } catch (error) {
@@ -39,7 +39,7 @@
   readonly value: unknown;
 }
 
-const parseText = (text: string): Result<ParsedText, Problems> => {
+const parseText = (text: string): Result<ParsedText, SettingsProblems> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
   if (errors.length > 0) return Err(describeSyntax(errors, text));
@@ -56,9 +56,9 @@
 export const parseSettings = <Kind extends SettingsKind>(
   text: string,
   kind: Kind,
-): Result<SettingsByKind[Kind], Problems> =>
+): Result<SettingsByKind[Kind], SettingsProblems> =>
   parseText(text).andThen(({ root, value }) => {
-    const parsed = parseWith(kind, value);
+    const parsed = validateWithSchema(kind, value);
     if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
     return Ok(parsed.data as SettingsByKind[Kind]);
   });
@@ -69,7 +69,7 @@
  * @param path - file
  * @returns the value, or the faults of the file's syntax
  */
-export const loadJson = (path: string): Result<unknown, Problems> =>
+export const loadJson = (path: string): Result<unknown, SettingsProblems> =>
   readText(path)
     .andThen(parseText)
     .map(({ value }) => value);
@@ -84,7 +84,7 @@
 export const loadSettings = <Kind extends SettingsKind>(
   path: string,
   kind: Kind,
-): Result<SettingsByKind[Kind], Problems> =>
+): Result<SettingsByKind[Kind], SettingsProblems> =>
   readText(path).andThen((text) => parseSettings(text, kind));
 
 /**
@@ -93,7 +93,7 @@
  * @param path - file of JSON with comments
  * @returns the kind, or the problem of a file that cannot be read or names neither daemon
  */
-export const findSettingsKind = (path: string): Result<SettingsKind, Problems> =>
+export const findSettingsKind = (path: string): Result<SettingsKind, SettingsProblems> =>
   loadJson(path).andThen((value) => {
     if (typeof value === 'object' && value !== null) {
       if ('target' in value || 'endpoint' in value) return Ok('endpoint');
--- a/packages/settings/page.ts
+++ b/packages/settings/page.ts
@@ -15,7 +15,7 @@
   readonly oneOf?: readonly Field[];
 }
 
-type Need = 'required' | 'optional';
+type Presence = 'required' | 'optional';
 
 const formatType = (field: Field): string => {
   if (field.const !== undefined) return `\`${JSON.stringify(field.const)}\``;
@@ -25,30 +25,35 @@
   return field.type === 'integer' ? 'whole number' : (field.type ?? 'any');
 };
 
-const formatDefault = (field: Field, need: Need): string => {
+const formatDefault = (field: Field, presence: Presence): string => {
   if (field.default !== undefined) return `\`${JSON.stringify(field.default)}\``;
-  return need;
+  return presence;
 };
 
-const renderLeaf = (path: string, field: Field, need: Need): string =>
-  `| \`${path}\` | ${formatType(field)} | ${formatDefault(field, need)} | ${field.description ?? ''} |`;
+const renderLeaf = (path: string, field: Field, presence: Presence): string =>
+  `| \`${path}\` | ${formatType(field)} | ${formatDefault(field, presence)} | ${field.description ?? ''} |`;
 
 const renderVariant = (path: string, variant: Field): readonly string[] => {
   const kind = String(variant.properties?.kind?.const);
   return renderRows(`${path}(${kind})`, variant, 'required');
 };
 
-const renderList = (path: string, field: Field, items: Field, need: Need): readonly string[] => [
-  `| \`${path}\` | list | ${need === 'required' ? 'required' : '`[]`'} | ${field.description ?? items.description ?? ''} |`,
+const renderList = (
+  path: string,
+  field: Field,
+  items: Field,
+  presence: Presence,
+): readonly string[] => [
+  `| \`${path}\` | list | ${presence === 'required' ? 'required' : '`[]`'} | ${field.description ?? items.description ?? ''} |`,
   ...(items.properties === undefined ? [] : renderRows(`${path}[]`, items, 'required')),
 ];
 
-const renderRows = (path: string, field: Field, need: Need): readonly string[] => {
+const renderRows = (path: string, field: Field, presence: Presence): readonly string[] => {
   if (field.oneOf !== undefined) {
     return field.oneOf.flatMap((variant) => renderVariant(path, variant));
   }
-  if (field.items !== undefined) return renderList(path, field, field.items, need);
-  if (field.properties === undefined) return [renderLeaf(path, field, need)];
+  if (field.items !== undefined) return renderList(path, field, field.items, presence);
+  if (field.properties === undefined) return [renderLeaf(path, field, presence)];
   const required = new Set(field.required ?? []);
   return Object.entries(field.properties).flatMap(([name, child]) =>
     renderRows(
--- a/packages/wire/constants.ts
+++ b/packages/wire/constants.ts
@@ -11,13 +11,13 @@
 export const TICKET_LIFETIME_MS = 3_600_000;
 
 /** Silence of a link after which it is probed. */
-export const LINK_PING_INTERVAL_MS = 1_000;
+export const CONNECTION_PING_INTERVAL_MS = 1_000;
 
 /** Time within which a probe must be answered, else the link counts as broken. */
-export const LINK_PING_TIMEOUT_MS = 1_000;
+export const CONNECTION_PING_TIMEOUT_MS = 1_000;
 
 /** Time that peers get to end their links once a listener closes. */
 export const CLOSE_GRACE_MS = 2_000;
 
 /** Calls on one link at a time; every running stream holds one. */
-export const MAX_CONCURRENT_STREAMS = 100_000;
+export const MAX_CONCURRENT_STREAMS_PER_CONNECTION = 100_000;
--- a/packages/wire/messageSize.ts
+++ b/packages/wire/messageSize.ts
@@ -9,13 +9,17 @@
  * refused by its receiver only after it was sent, and its sender then cannot tell the verdict.
  *
  * @param body - body of a request or an answer
- * @param what - name of the body in the message
+ * @param bodyName - name of the body in the message
  * @param verdict - what is known about the request's execution
  * @returns a `too-large` failure, or null when the body fits
  */
-export const checkBodySize = (body: Uint8Array, what: string, verdict: Verdict): Failure | null => {
+export const checkBodySize = (
+  body: Uint8Array,
+  bodyName: string,
+  verdict: Verdict,
+): Failure | null => {
   const { byteLength } = body;
   if (byteLength <= MAX_BODY_BYTES) return null;
-  const text = `${what}: ${byteLength.toString()} bytes do not fit into a message; the limit is ${MAX_BODY_BYTES.toString()}`;
-  return createFailure(verdict, 'too-large', text);
+  const message = `${bodyName}: ${byteLength.toString()} bytes do not fit into a message; the limit is ${MAX_BODY_BYTES.toString()}`;
+  return createFailure(verdict, 'too-large', message);
 };
--- a/packages/wire/resumeTicket.ts
+++ b/packages/wire/resumeTicket.ts
@@ -25,9 +25,9 @@
 const UUID_BYTES = 16;
 const EXPIRY_BYTES = 6;
 const MAC_BYTES = 12;
-const NAMES_AT = 2 * UUID_BYTES + EXPIRY_BYTES;
+const NAMES_OFFSET = 2 * UUID_BYTES + EXPIRY_BYTES;
 
-const sign = (payload: Buffer, key: string): Buffer =>
+const computeMac = (payload: Buffer, key: string): Buffer =>
   createHmac('sha256', key).update(payload).digest().subarray(0, MAC_BYTES);
 
 /**
@@ -48,17 +48,20 @@
     expiry,
     Buffer.from(`${ticket.endpoint}\0${ticket.customer}`, 'utf8'),
   ]);
-  return Buffer.concat([sign(payload, key), payload]).toString('base64url');
+  return Buffer.concat([computeMac(payload, key), payload]).toString('base64url');
 };
 
-const decodeTicket = (text: string, key: string): Result<ResumeTicket, TicketProblem> => {
-  const bytes = Buffer.from(text, 'base64url');
-  if (bytes.length < MAC_BYTES + NAMES_AT + 1) return Err('malformed');
+const decodeTicket = (encodedTicket: string, key: string): Result<ResumeTicket, TicketProblem> => {
+  const bytes = Buffer.from(encodedTicket, 'base64url');
+  if (bytes.length < MAC_BYTES + NAMES_OFFSET + 1) return Err('malformed');
   const payload = bytes.subarray(MAC_BYTES);
-  if (!timingSafeEqual(sign(payload, key), bytes.subarray(0, MAC_BYTES))) {
+  if (!timingSafeEqual(computeMac(payload, key), bytes.subarray(0, MAC_BYTES))) {
     return Err('wrong-signature');
   }
-  const [endpoint = '', customer = ''] = payload.subarray(NAMES_AT).toString('utf8').split('\0');
+  const [endpoint = '', customer = ''] = payload
+    .subarray(NAMES_OFFSET)
+    .toString('utf8')
+    .split('\0');
   return Ok({
     generationId: stringify(payload.subarray(0, UUID_BYTES)),
     incarnation: stringify(payload.subarray(UUID_BYTES, 2 * UUID_BYTES)),
@@ -92,9 +95,9 @@
   now: Millis,
 ): Result<ResumePoint, TicketProblem> => {
   const match = /^([\w-]+)\.(\d{1,9})$/.exec(eventId);
-  const [, text, number] = match ?? [];
-  if (text === undefined || number === undefined) return Err('malformed');
-  const decoded = decodeTicket(text, key);
+  const [, encodedTicket, number] = match ?? [];
+  if (encodedTicket === undefined || number === undefined) return Err('malformed');
+  const decoded = decodeTicket(encodedTicket, key);
   if (decoded.isErr()) return decoded;
   if (decoded.value.expiresAt <= now) return Err('expired');
   return Ok({ ticket: decoded.value, lastNumber: Number(number) });
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -4,9 +4,9 @@
 import { connectNodeAdapter, Http2SessionManager } from '@connectrpc/connect-node';
 import {
   CLOSE_GRACE_MS,
-  LINK_PING_INTERVAL_MS,
-  LINK_PING_TIMEOUT_MS,
-  MAX_CONCURRENT_STREAMS,
+  CONNECTION_PING_INTERVAL_MS,
+  CONNECTION_PING_TIMEOUT_MS,
+  MAX_CONCURRENT_STREAMS_PER_CONNECTION,
   MAX_MESSAGE_BYTES,
 } from './constants.js';
 
@@ -27,7 +27,7 @@
 export const createRpcListener = (routes: (router: ConnectRouter) => void): RpcListener => {
   const sessions = new Set<Http2Session>();
   const server = createServer(
-    { settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS } },
+    { settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS_PER_CONNECTION } },
     connectNodeAdapter({
       routes,
       readMaxBytes: MAX_MESSAGE_BYTES,
@@ -70,6 +70,6 @@
  */
 export const createPeerSession = (url: string): Http2SessionManager =>
   new Http2SessionManager(url, {
-    pingIntervalMs: LINK_PING_INTERVAL_MS,
-    pingTimeoutMs: LINK_PING_TIMEOUT_MS,
+    pingIntervalMs: CONNECTION_PING_INTERVAL_MS,
+    pingTimeoutMs: CONNECTION_PING_TIMEOUT_MS,
   });
--- a/packages/wire/storedGeneration.ts
+++ b/packages/wire/storedGeneration.ts
@@ -17,7 +17,7 @@
 
 const FORMAT = 1;
 
-const schema = z.discriminatedUnion('kind', [
+const STORED_GENERATION_SCHEMA = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('finished'),
     format: z.literal(FORMAT),
@@ -52,7 +52,9 @@
  */
 export const decodeStoredGeneration = (body: Uint8Array): Result<StoredGeneration, Failure> => {
   try {
-    const parsed = schema.safeParse(JSON.parse(Buffer.from(body).toString('utf8')));
+    const parsed = STORED_GENERATION_SCHEMA.safeParse(
+      JSON.parse(Buffer.from(body).toString('utf8')),
+    );
     if (parsed.success) return Ok(parsed.data);
     return Err(createFailure('ran', 'unsupported-format', z.prettifyError(parsed.error)));
   } catch (error) {
