Reword the event catalogue

Sentences such as 'A fault left the supervisor tree' and 'Failures keep an endpoint out of use' were figurative. They now say that an error escaped the supervisor tree and that the endpoint is excluded from placement. docs/EVENTS.md has to be generated again with npm run docs.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -3,28 +3,32 @@
 interface CatalogueEntry {
   readonly number: number;
   readonly level: EventLevel;
-  /** When the event is logged; docs/EVENTS.md shows the same sentence. */
+  /** When the event is logged; published in docs/EVENTS.md. */
   readonly text: string;
 }
 
-/** Every event that a daemon can log. Numbers are never reused. */
+/** All events that a daemon can log. Numbers are never reused. */
 export const EVENT_CATALOGUE = {
-  'daemon-started': { number: 1001, level: 'info', text: 'A daemon serves on its addresses.' },
+  'daemon-started': {
+    number: 1001,
+    level: 'info',
+    text: 'A daemon started listening on its addresses.',
+  },
   'daemon-stopping': { number: 1002, level: 'info', text: 'A daemon began its graceful shutdown.' },
   'daemon-stopped': {
     number: 1003,
     level: 'info',
-    text: 'A daemon ended; the data tells what was left.',
+    text: 'A daemon stopped; the data reports how much work was unfinished.',
   },
   'child-failed': {
     number: 1004,
     level: 'error',
-    text: 'A child of a supervisor failed and is handled by its restart rule.',
+    text: 'A child of a supervisor failed and is handled according to its restart rule.',
   },
   'daemon-fault': {
     number: 1005,
     level: 'error',
-    text: 'A fault left the supervisor tree; the process exits with code 70.',
+    text: 'An error escaped the supervisor tree; the process exits with code 70.',
   },
   'pause-detected': {
     number: 1006,
@@ -39,7 +43,7 @@
   'request-queued': {
     number: 2002,
     level: 'info',
-    text: 'No endpoint can take the request now, so it waits.',
+    text: 'No endpoint can accept the request now, so it is queued.',
   },
   'request-placed': {
     number: 2003,
@@ -52,13 +56,17 @@
     text: 'The request was sent to an endpoint daemon.',
   },
   'attempt-ended': { number: 2005, level: 'info', text: 'An attempt ended with a verdict.' },
-  'request-finished': { number: 2006, level: 'info', text: 'The whole answer was delivered.' },
+  'request-finished': { number: 2006, level: 'info', text: 'The complete answer was delivered.' },
   'request-failed': {
     number: 2007,
     level: 'warn',
-    text: 'The caller got a failure with a verdict.',
+    text: 'The caller received a failure with a verdict.',
+  },
+  'request-cancelled': {
+    number: 2008,
+    level: 'info',
+    text: 'The caller disconnected before the answer was complete.',
   },
-  'request-cancelled': { number: 2008, level: 'info', text: 'The caller went away.' },
   'request-retried': {
     number: 2009,
     level: 'info',
@@ -67,20 +75,20 @@
   'request-shed': {
     number: 2010,
     level: 'warn',
-    text: 'Overload refused the request before dispatch.',
+    text: 'The request was refused before dispatch because of overload.',
   },
   'configuration-applied': {
     number: 3001,
     level: 'info',
-    text: 'A record of the control stream is in force.',
+    text: 'A record of the control stream took effect.',
   },
   'configuration-void': {
     number: 3002,
     level: 'warn',
-    text: 'A record of the control stream lost a race and is void.',
+    text: 'A record of the control stream lost a race and has no effect.',
   },
-  'log-unavailable': { number: 3003, level: 'warn', text: 'The log does not answer.' },
-  'log-available': { number: 3004, level: 'info', text: 'The log answers again.' },
+  'log-unavailable': { number: 3003, level: 'warn', text: 'The log does not respond.' },
+  'log-available': { number: 3004, level: 'info', text: 'The log responds again.' },
   'record-rejected': {
     number: 3005,
     level: 'error',
@@ -89,7 +97,7 @@
   'configuration-from-peer': {
     number: 3006,
     level: 'info',
-    text: 'The configuration was taken from a peer during a log outage.',
+    text: 'The configuration was fetched from a peer during a log outage.',
   },
   'snapshot-appended': {
     number: 3007,
@@ -99,7 +107,7 @@
   'list-unavailable': {
     number: 3008,
     level: 'warn',
-    text: 'The instance list does not answer; heartbeats decide.',
+    text: 'The instance list does not respond; liveness depends on heartbeats alone.',
   },
   'endpoint-joined': {
     number: 4001,
@@ -139,12 +147,12 @@
   'engine-restarted': {
     number: 4007,
     level: 'warn',
-    text: 'The engine reports another start identity; its limit starts again.',
+    text: 'The engine reports a new start identity; its admission limit is reset.',
   },
   'engine-unreachable': {
     number: 4008,
     level: 'warn',
-    text: 'The engine does not answer its health page.',
+    text: 'The engine does not respond on its health page.',
   },
   'generation-started': {
     number: 5001,
@@ -152,7 +160,11 @@
     text: 'A generation was started at the engine.',
   },
   'generation-finished': { number: 5002, level: 'info', text: 'The engine finished a generation.' },
-  'generation-failed': { number: 5003, level: 'warn', text: 'A generation ended before its end.' },
+  'generation-failed': {
+    number: 5003,
+    level: 'warn',
+    text: 'A generation ended before it was complete.',
+  },
   'generation-cancelled': {
     number: 5004,
     level: 'info',
@@ -161,7 +173,7 @@
   'stream-resumed': {
     number: 5005,
     level: 'info',
-    text: 'A stream goes on from the first chunk that was not delivered.',
+    text: 'A stream resumed at the first undelivered chunk.',
   },
   'stream-stalled': {
     number: 5006,
@@ -181,26 +193,30 @@
   'intent-active': {
     number: 6002,
     level: 'info',
-    text: 'An intent was read back as the active one of its key.',
+    text: 'An intent was read back and is the active intent of its key.',
   },
   'intent-void': { number: 6003, level: 'info', text: 'Another intent holds the key.' },
   'append-unresolved': {
     number: 6004,
     level: 'warn',
-    text: 'The answer to an append was lost; the stream is read for its nonce.',
+    text: 'The response to an append was lost; the stream is searched for its nonce.',
   },
   'nonce-fenced': {
     number: 6005,
     level: 'info',
-    text: 'The endpoint daemon promised never to start a nonce.',
+    text: 'The endpoint daemon fenced a nonce and will never start it.',
   },
   'outcome-appended': {
     number: 6006,
     level: 'info',
     text: 'The outcome of a non-repeatable call was appended.',
   },
-  'key-replayed': { number: 6007, level: 'info', text: 'A repeated key got its stored answer.' },
-  'move-started': { number: 7001, level: 'info', text: 'A version move is in force.' },
+  'key-replayed': {
+    number: 6007,
+    level: 'info',
+    text: 'A request with a repeated key received the stored answer.',
+  },
+  'move-started': { number: 7001, level: 'info', text: 'A version move took effect.' },
   'move-share-changed': {
     number: 7002,
     level: 'info',
@@ -209,10 +225,10 @@
   'move-stopped-locally': {
     number: 7003,
     level: 'warn',
-    text: 'Evidence of faults stopped the new version in this process.',
+    text: 'This process stopped the new version because of evidence of faults.',
   },
-  'move-done': { number: 7004, level: 'info', text: 'A version move is done.' },
-  'move-taken-back': { number: 7005, level: 'warn', text: 'A version move was taken back.' },
+  'move-done': { number: 7004, level: 'info', text: 'A version move is complete.' },
+  'move-taken-back': { number: 7005, level: 'warn', text: 'A version move was rolled back.' },
   'move-needs-operator': {
     number: 7006,
     level: 'warn',
@@ -243,7 +259,7 @@
   'peer-found': {
     number: 4010,
     level: 'info',
-    text: 'Another gateway daemon was heard for the first time.',
+    text: 'The first message of another gateway daemon arrived.',
   },
   'peer-unreachable': {
     number: 4011,
@@ -253,42 +269,42 @@
   'endpoint-changed': {
     number: 4012,
     level: 'info',
-    text: 'A registration of an endpoint appeared, changed its phase or went.',
+    text: 'A registration of an endpoint was added, changed its phase or was removed.',
   },
   'endpoint-avoided': {
     number: 4013,
     level: 'info',
-    text: 'Failures keep an endpoint out of use for a while.',
+    text: 'An endpoint is excluded from placement for a while because of failures.',
   },
   'data-centre-changed': {
     number: 4014,
     level: 'info',
-    text: 'Operators took a data centre out or back.',
+    text: 'Operators took a data centre out of service or returned it.',
   },
   'record-unreadable': {
     number: 3009,
     level: 'warn',
-    text: 'A record of the platform could not be read and is left out.',
+    text: 'A record of the platform could not be read and was skipped.',
   },
   'feed-reloaded': {
     number: 3010,
     level: 'info',
-    text: 'Records were no longer kept, so the newest ones are loaded again.',
+    text: 'Records were past their retention, so the newest ones are loaded again.',
   },
   'transfer-step': {
     number: 5008,
     level: 'info',
-    text: 'A running generation is on its way to another endpoint.',
+    text: 'The transfer of a running generation to another endpoint reached a new state.',
   },
   'settings-reloaded': {
     number: 1007,
     level: 'info',
-    text: 'A daemon took over changed settings.',
+    text: 'A daemon applied changed settings.',
   },
   'caller-unreadable': {
     number: 2011,
     level: 'info',
-    text: 'The bytes of a caller were no request.',
+    text: 'The bytes received from a caller are not a valid request.',
   },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
 
