Reword the comments of the supervision and the loop

Phrases such as 'puts together', 'does about a failed child' and 'gave up' were vague. The comments now name restart intensity, queue capacity and initial effects; the escalation error says which limit was exceeded, and two test titles say what they check.

--- a/packages/core/asyncQueue.ts
+++ b/packages/core/asyncQueue.ts
@@ -1,14 +1,14 @@
-/** Queue between the loop, which pushes, and one asynchronous reader. */
+/** Unbounded queue from the loop, which pushes items, to one asynchronous reader. */
 export interface AsyncQueue<Item> extends AsyncIterable<Item> {
   readonly push: (item: Item) => void;
-  /** Ends the queue after the items that were pushed. */
+  /** Ends the queue after the items already pushed; later pushes are ignored. */
   readonly end: () => void;
 }
 
 /**
- * Creates a queue for one reader.
+ * Creates a queue for a single reader.
  *
- * @returns the queue
+ * @returns the empty queue
  */
 export const createAsyncQueue = <Item>(): AsyncQueue<Item> => {
   let items: Item[] = [];
--- a/packages/core/loop/constants.ts
+++ b/packages/core/loop/constants.ts
@@ -1,7 +1,7 @@
-/** Share of the queue above which new requests are shed, so that running ones can complete. */
+/** Queue fill ratio above which new requests are shed, so that running ones can complete. */
 export const NEW_REQUEST_QUEUE_SHARE = 0.75;
 
-/** Events handled before I/O gets a turn; bounds the delay of socket reads under load. */
+/** Events handled before control returns to I/O; bounds the delay of socket reads under load. */
 export const MAX_EVENTS_PER_BATCH = 256;
 
 export const DEFAULT_QUEUE_CAPACITY = 65_536;
--- a/packages/core/loop/loop.test.ts
+++ b/packages/core/loop/loop.test.ts
@@ -17,7 +17,7 @@
     },
   });
 
-// Guards against a full queue that loses completions while it still takes new requests.
+// Guards against a full queue that drops completions while it still accepts new requests.
 test('a full queue sheds new requests first and keeps completions', async (t) => {
   const handled: number[] = [];
   const loop = createItemLoop(handled, 4);
@@ -35,8 +35,8 @@
   t.deepEqual(handled, [1, 2, 3, 5, 7]);
 });
 
-// Guards against a handler's exception that ends the loop or is lost.
-test('an exception reaches the fault handler and the loop goes on', async (t) => {
+// Guards against an exception of a handler that stops the loop or goes unreported.
+test('an exception reaches the fault handler and the loop continues', async (t) => {
   const faults: unknown[] = [];
   const handled: number[] = [];
   const loop = createLoop<number>({
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -4,12 +4,12 @@
 import type { Millis } from '../clock.js';
 
 /**
- * Tells whether an event of a class still fits into the queue.
+ * Decides whether the queue admits an event of a class.
  *
- * @param queueClass - importance of the event
- * @param depth - events that wait now
- * @param capacity - bound of the queue
- * @returns `queued` when the event is kept
+ * @param queueClass - class of the event
+ * @param depth - number of events in the queue
+ * @param capacity - capacity of the queue in events
+ * @returns `queued` when the event is admitted
  */
 export const decideAdmission = (
   queueClass: QueueClass,
@@ -30,9 +30,9 @@
 };
 
 /**
- * Creates the loop of a daemon. It sleeps until an event or a timer arrives.
+ * Creates the event loop of a daemon. It is idle until an event is posted or a timer fires.
  *
- * @param options - bound, classification and handler
+ * @param options - queue capacity, classification and handlers
  * @returns the running loop
  */
 export const createLoop = <Event>(options: LoopOptions<Event>): Loop<Event> => {
--- a/packages/core/loop/types.ts
+++ b/packages/core/loop/types.ts
@@ -1,8 +1,8 @@
 import type { Millis } from '../clock.js';
 
 /**
- * Importance of an event when the queue is full: new requests of callers are shed first, then load
- * reports; completions and control events are always kept.
+ * Priority of an event when the queue fills up: new requests of callers are shed first, then load
+ * reports; completions and control events are always queued.
  */
 export type QueueClass = 'new-request' | 'report' | 'completion' | 'control';
 
@@ -12,23 +12,23 @@
   readonly cancel: () => void;
 }
 
-/** Queue of events that are handled one at a time on the process's only thread. */
+/** Event queue whose events are handled one at a time on the process's only thread. */
 export interface Loop<Event> {
   /** Adds an event to the queue, or sheds it when the queue is too full for its class. */
   readonly post: (event: Event) => PostResult;
-  /** Posts an event after a delay. */
+  /** Posts an event after a delay in milliseconds; a negative delay counts as 0. */
   readonly schedule: (delay: Millis, event: Event) => Timer;
-  /** Number of events that wait. */
+  /** Returns the number of queued events. */
   readonly getDepth: () => number;
-  /** Drops waiting events and accepts no more. */
+  /** Drops the queued events, cancels all timers and accepts no further events. */
   readonly stop: () => void;
 }
 
 export interface LoopOptions<Event> {
-  /** Largest number of waiting events before reports are shed. */
+  /** Number of queued events from which load reports are shed. */
   readonly capacity: number;
   readonly classify: (event: Event) => QueueClass;
   readonly handle: (event: Event) => void;
-  /** Receives an exception that no supervisor handled. */
+  /** Receives an exception that `handle` threw, which no supervisor handled. */
   readonly onFault: (error: unknown) => void;
 }
--- a/packages/core/step.ts
+++ b/packages/core/step.ts
@@ -13,6 +13,6 @@
  */
 export const toStep = <State, Effect>(
   state: State,
-  // The union of effects comes from the expected type, not from the first effect alone.
+  // NoInfer: the effect type is inferred from the expected type, not from the first effect alone.
   ...effects: readonly NoInfer<Effect>[]
 ): Step<State, Effect> => ({ state, effects });
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -7,23 +7,23 @@
   readonly classify: (event: Event) => QueueClass;
   /** Starts the root supervisor. */
   readonly startRoot: () => RunningChild<Event, Effect>;
-  /** Carries out one effect and posts its completion to the loop later. */
+  /** Performs one effect and posts its completion to the loop later. */
   readonly perform: (effect: Effect) => void;
-  /** Receives a fault that the root supervisor could not handle; the process ends after it. */
+  /** Receives an error that the root supervisor could not handle; the process exits after it. */
   readonly onFault: (error: unknown) => void;
   readonly capacity?: number;
 }
 
 export interface Daemon<Event> {
   readonly loop: Loop<Event>;
-  /** Starts the tree; its first effects are carried out before this returns. */
+  /** Starts the supervisor tree and performs its initial effects before it returns. */
   readonly start: () => void;
-  /** Stops the children in reverse start order and ends the loop. */
+  /** Stops the children in reverse start order, performs their last effects and stops the loop. */
   readonly stop: () => void;
 }
 
 /**
- * Puts one loop, one supervisor tree and the adapters together.
+ * Assembles a daemon from one loop, one supervisor tree and the adapters.
  *
  * @param options - root supervisor, adapters and fault handler
  * @returns the daemon, not yet started
--- a/packages/core/supervision/restart.ts
+++ b/packages/core/supervision/restart.ts
@@ -7,7 +7,7 @@
   | { readonly kind: 'remove' }
   | { readonly kind: 'escalate' };
 
-/** Instants of recent restarts, oldest first. */
+/** Times of recent restarts, oldest first. */
 export type RestartHistory = readonly Millis[];
 
 const listAffectedChildren = (
@@ -40,16 +40,16 @@
 };
 
 /**
- * Decides what a supervisor does about a failed child.
+ * Decides how a supervisor handles a failed child.
  *
  * @param rule - restart rule of the failed child
- * @param strategy - which children restart with it
+ * @param strategy - determines which children restart with the failed one
  * @param names - all children in start order
  * @param failedChild - name of the failed child
- * @param intensity - restarts allowed within a window
+ * @param intensity - number of restarts allowed within a window
  * @param history - earlier restarts
  * @param now - current instant
- * @returns the decision and the history with this restart
+ * @returns the decision and the updated history
  */
 export const decideRestart = (
   rule: RestartRule,
--- a/packages/core/supervision/routedChild.ts
+++ b/packages/core/supervision/routedChild.ts
@@ -1,24 +1,24 @@
 import { startChild } from './supervisor.js';
 import type { ChildLogic, ChildSpec, StateSource } from './types.js';
 
-/** Event that names the child that handles it. */
+/** Event addressed to the child named in `to`. */
 interface RoutedEvent {
   readonly to: string;
 }
 
 export interface RoutedChildOptions<State, Event, Effect> {
   readonly rebuildsFrom: StateSource;
-  /** Creates the decisions of the child, for each of its starts. */
+  /** Creates the decision logic of the child; called at each start. */
   readonly createLogic: () => ChildLogic<State, Event, Effect>;
   /** Receives each new state, for the read-only views of other children. */
   readonly publish?: (state: State) => void;
 }
 
 /**
- * Builds a permanent child that handles the events of its tree that carry its name.
+ * Builds a permanent child that handles only the events addressed to it.
  *
- * @param name - name that the events carry in their field `to`
- * @param options - decisions of the child and the source of its state
+ * @param name - name of the child, and value of `to` in its events
+ * @param options - decision logic of the child and the source of its state
  * @returns the specification for the supervisor
  */
 export const buildRoutedChild = <
--- a/packages/core/supervision/supervisor.test.ts
+++ b/packages/core/supervision/supervisor.test.ts
@@ -44,8 +44,8 @@
   return { supervisor, clock, failures };
 };
 
-// Guards against a restart that keeps the broken state of the failed child.
-test('one-for-one restarts the failed child with fresh state and leaves the other', (t) => {
+// Guards against a restart that keeps the corrupt state of the failed child.
+test('one-for-one restarts only the failed child, with fresh state', (t) => {
   const { supervisor, failures } = startPair('one-for-one');
   supervisor.handle({ to: 'first', kind: 'count' });
   supervisor.handle({ to: 'second', kind: 'count' });
@@ -55,8 +55,8 @@
   t.deepEqual(failures, ['first']);
 });
 
-// Guards against children that run on with a view of a state that no longer exists.
-test('rest-for-one stops later children in reverse order and starts them again', (t) => {
+// Guards against later children that keep using the discarded state of the failed child.
+test('rest-for-one stops later children in reverse order and restarts them', (t) => {
   const { supervisor } = startPair('rest-for-one');
   t.deepEqual(supervisor.handle({ to: 'first', kind: 'crash' }), [
     'second stopped',
@@ -65,8 +65,8 @@
   ]);
 });
 
-// Guards against an endless restart loop of a child that cannot run.
-test('a supervisor gives up above its restart intensity and not after quiet time', (t) => {
+// Guards against an endless restart loop of a child that always fails.
+test('a supervisor escalates above its restart intensity, and old restarts do not count', (t) => {
   const { supervisor, clock } = startPair('one-for-one');
   supervisor.handle({ to: 'first', kind: 'crash' });
   supervisor.handle({ to: 'first', kind: 'crash' });
@@ -78,14 +78,14 @@
   });
 });
 
-// Guards against a temporary child that comes back.
+// Guards against a temporary child that is restarted.
 test('a temporary child is removed after a failure', (t) => {
   const { supervisor } = startPair('one-for-one', 'temporary');
   t.deepEqual(supervisor.handle({ to: 'first', kind: 'crash' }), []);
   t.deepEqual(supervisor.handle({ to: 'first', kind: 'count' }), []);
 });
 
-// Guards against a stop order that ends a child before those that depend on it.
+// Guards against a child that stops before the children that depend on it.
 test('children stop in the reverse of their start order', (t) => {
   const { supervisor } = startPair('one-for-one');
   t.deepEqual(supervisor.stop(), ['second stopped', 'first stopped']);
--- a/packages/core/supervision/supervisor.ts
+++ b/packages/core/supervision/supervisor.ts
@@ -4,20 +4,20 @@
 import { assertNever } from '../assertNever.js';
 import type { Clock } from '../clock.js';
 
-/** Raised by a supervisor whose children fail more often than its intensity allows. */
+/** Thrown by a supervisor whose children fail more often than its restart intensity allows. */
 export class SupervisorEscalation extends Error {
   constructor(
     readonly supervisor: string,
     override readonly cause: unknown,
   ) {
-    super(`supervisor ${supervisor} gave up: its children failed too often`);
+    super(`supervisor ${supervisor} exceeded its restart intensity`);
   }
 }
 
 /**
- * Starts a child from its decisions. The child is the only owner of its state.
+ * Starts a child from its decision logic. The child is the sole owner of its state.
  *
- * @param logic - first state and decision function
+ * @param logic - initial state and decision function
  * @param publish - receives each new state, for the read-only views of other children
  * @returns the running child
  */
@@ -43,8 +43,8 @@
 /**
  * Starts a supervisor with its children. A supervisor is a child itself, so supervisors nest.
  *
- * @param spec - children, strategy and intensity
- * @param clock - time of restarts
+ * @param spec - children, restart strategy and restart intensity
+ * @param clock - clock that dates restarts
  * @param onFailure - receives each failure of a child, for the event log
  * @returns the running supervisor
  * @throws SupervisorEscalation from `handle` when the restart intensity is exceeded
--- a/packages/core/supervision/types.ts
+++ b/packages/core/supervision/types.ts
@@ -1,15 +1,16 @@
 import type { Millis } from '../clock.js';
 import type { Step } from '../step.js';
 
-/** When a child is started again: always, after a failure only, or never. */
+/** When a child is restarted: always, only after a failure, or never. */
 export type RestartRule = 'permanent' | 'transient' | 'temporary';
 
-/** Which children are restarted with a failed one. */
+/** Which children are restarted together with a failed one. */
 export type RestartStrategy = 'one-for-one' | 'rest-for-one' | 'one-for-all';
 
-/** Where a restarted child takes its state from. */
+/** Source from which a restarted child rebuilds its state. */
 export type StateSource = 'settings' | 'log' | 'peers' | 'heartbeats' | 'endpoint' | 'nothing';
 
+/** Largest number of restarts within a sliding window before the supervisor escalates. */
 export interface RestartIntensity {
   readonly restarts: number;
   readonly withinMs: Millis;
@@ -17,10 +18,10 @@
 
 /** A started child that owns its state. */
 export interface RunningChild<Event, Effect> {
-  /** Effects of the start, carried out before the first event. */
+  /** Effects of the start, performed before the first event. */
   readonly started: readonly Effect[];
   readonly handle: (event: Event) => readonly Effect[];
-  /** Effects of an orderly stop. */
+  /** Stops the child and returns the effects of an orderly stop. */
   readonly stop: () => readonly Effect[];
 }
 
@@ -37,11 +38,11 @@
   readonly intensity: RestartIntensity;
   /** Children in start order; they stop in the reverse order. */
   readonly children: readonly ChildSpec<Event, Effect>[];
-  /** Names the child that handles an event. */
+  /** Returns the name of the child that handles an event. */
   readonly route: (event: Event) => string;
 }
 
-/** Pure decisions of a child: its first state and one step per event. */
+/** Pure decision logic of a child: its initial state and one step per event. */
 export interface ChildLogic<State, Event, Effect> {
   readonly init: () => Step<State, Effect>;
   readonly decide: (state: State, event: Event) => Step<State, Effect>;
