Reword the comments of the events, metrics and other core parts

The rate limit of log lines was described as 'left out' and 'kept'; it now says dropped, counted and exempt. The clock, JSON parsing, failure and metrics comments use the usual terms (monotonic, quantile, CPU time, offset).

--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -7,7 +7,7 @@
   readonly now: () => Millis;
 }
 
-/** Clock that moves only when it is told to. */
+/** Clock whose time changes only through `advance`. */
 export interface VirtualClock extends Clock {
   /** Moves the clock forward by `duration` milliseconds. */
   readonly advance: (duration: Millis) => void;
@@ -16,10 +16,10 @@
 /**
  * Creates the clock of a running process.
  *
- * The instant is the wall clock at creation plus the monotonic time since, so that a step of the
- * wall clock never makes a lease live longer or a deadline pass early.
+ * The instant is the wall-clock time at creation plus the monotonic time elapsed since. A step of
+ * the wall clock therefore never extends a lease or makes a deadline pass early.
  *
- * @returns a clock that never goes back
+ * @returns a monotonic clock
  */
 export const createSystemClock = (): Clock => {
   const origin = Date.now() - performance.now();
@@ -27,10 +27,10 @@
 };
 
 /**
- * Creates a clock for decisions under test.
+ * Creates a clock for tests.
  *
  * @param start - first instant in milliseconds
- * @returns a clock that stands still until it is advanced
+ * @returns a clock that keeps its time until it is advanced
  */
 export const createVirtualClock = (start: Millis = 0): VirtualClock => {
   let current = start;
--- a/packages/core/events/consolaWriter.ts
+++ b/packages/core/events/consolaWriter.ts
@@ -1,7 +1,7 @@
 import { createConsola } from 'consola';
 import type { LoggedEvent } from './types.js';
 
-/** One JSON line for machines, or a short line for people on a terminal. */
+/** Output format: one JSON line per event, or a short human-readable line for a terminal. */
 export type LogFormat = 'json' | 'text';
 
 const formatText = (event: LoggedEvent): string => {
@@ -11,9 +11,9 @@
 };
 
 /**
- * Creates a writer of events on standard error, so that standard output stays free for data.
+ * Creates a writer that logs events to standard error, so that standard output stays free for data.
  *
- * @param format - `json` for one JSON line each
+ * @param format - format of each line
  * @returns the writer
  */
 export const createConsolaWriter = (format: LogFormat): ((event: LoggedEvent) => void) => {
--- a/packages/core/events/constants.ts
+++ b/packages/core/events/constants.ts
@@ -1,2 +1,2 @@
-/** Events that a process keeps for the time line. */
+/** Number of recent events that a process keeps in memory for the time line. */
 export const EVENT_RING_CAPACITY = 8_192;
--- a/packages/core/events/eventLog.ts
+++ b/packages/core/events/eventLog.ts
@@ -6,9 +6,9 @@
 import type { Incarnation } from '../ids.js';
 
 export interface EventLog {
-  /** Records one event in the ring and hands it to the writer. */
+  /** Stores an event in the ring buffer and passes it to the writer. */
   readonly record: (name: EventName, details?: EventDetails) => void;
-  /** Lists the kept events from a sequence number on, oldest first. */
+  /** Lists the buffered events from a sequence number on, oldest first. */
   readonly list: (fromSequence?: number) => readonly LoggedEvent[];
 }
 
@@ -22,10 +22,10 @@
 }
 
 /**
- * Creates the event log of a process: a bounded ring for the time line, and a writer for the log
- * output.
+ * Creates the event log of a process: a bounded ring buffer for the time line, and a writer for the
+ * log output.
  *
- * @param options - identity of the process, its clock and its writer
+ * @param options - identity, clock and writer of the process
  * @returns the event log
  */
 export const createEventLog = (options: EventLogOptions): EventLog => {
--- a/packages/core/events/eventPage.ts
+++ b/packages/core/events/eventPage.ts
@@ -1,7 +1,7 @@
 import { EVENT_CATALOGUE } from './catalogue.js';
 
 /**
- * Renders docs/EVENTS.md.
+ * Renders docs/EVENTS.md from the event catalogue.
  *
  * @returns the page as Markdown
  */
--- a/packages/core/events/lineWriter.ts
+++ b/packages/core/events/lineWriter.ts
@@ -3,15 +3,15 @@
 import type { LoggedEvent } from './types.js';
 import type { Clock, Millis } from '../clock.js';
 
-/** Lines of one kind of event in a window; more are counted and left out. */
+/** Largest number of lines per event name and window; further lines are dropped and counted. */
 const MAX_LINES_PER_WINDOW = 200;
 
 const WINDOW_MS: Millis = 1_000;
 
-/** Bytes that wait for a slow reader of the output; more lines are counted and left out. */
+/** Bytes buffered for a slow reader; above this limit, lines are dropped and counted. */
 const MAX_BUFFERED_BYTES = 512 * 1024;
 
-/** Events that are written whatever their rate, as they explain failed requests. */
+/** Warnings and errors are never rate limited, because they explain failed requests. */
 const isExemptFromRateLimit = (event: LoggedEvent): boolean =>
   event.level === 'warn' || event.level === 'error';
 
@@ -22,12 +22,12 @@
 }
 
 /**
- * Creates a writer of events as JSON lines. It never blocks: above a rate for each kind of event,
- * and while the reader of the output is slow, lines are counted and left out, and the next line of
- * the kind tells how many.
+ * Creates a writer of events as JSON lines. It never blocks: it drops lines above the rate limit of
+ * their event name, and all lines while the buffer for a slow reader is full. The next line with
+ * the same event name reports the number of dropped lines in `leftOut`.
  *
- * @param output - usually the standard output
- * @param clock - time of the windows
+ * @param output - stream to write to, usually standard output
+ * @param clock - clock of the rate-limit windows
  * @returns the writer
  */
 export const createLineWriter = (
--- a/packages/core/events/types.ts
+++ b/packages/core/events/types.ts
@@ -6,35 +6,35 @@
 
 export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
 
-/** Position in a stream of the platform's log that an event depends on. */
+/** Position of the record, in a stream of the platform's log, that an event depends on. */
 export interface LogPosition {
   readonly stream: string;
   readonly offset: Offset;
 }
 
-/** What a process tells about an event; the log adds time, sequence and process. */
+/** Details supplied with an event; the event log adds the time, sequence number and process. */
 export interface EventDetails {
   readonly requestId?: RequestId;
   readonly endpoint?: EndpointId;
   readonly dataCentre?: string;
-  /** Name of a move, a class, a customer or another record of the configuration. */
+  /** Name of a version move, class, customer or other configuration record. */
   readonly entity?: string;
   readonly position?: LogPosition;
-  /** Id of a message that left this process with this event. */
+  /** Id of the message that this process sent with this event. */
   readonly sent?: string;
-  /** Id of a message whose arrival caused this event. */
+  /** Id of the received message that caused this event. */
   readonly received?: string;
   readonly data?: Readonly<Record<string, string | number | boolean | readonly string[]>>;
 }
 
-/** One numbered event of one process. */
+/** A log event with its catalogue number and the process that recorded it. */
 export interface LoggedEvent extends EventDetails {
   readonly number: number;
   readonly name: EventName;
   readonly level: EventLevel;
-  /** Position in this process's own sequence, from 0. */
+  /** Sequence number within this process, from 0. */
   readonly sequence: number;
-  /** The process's own clock; not comparable between processes. */
+  /** Time on the process's own clock; not comparable between processes. */
   readonly at: Millis;
   readonly process: string;
   readonly role: ProcessRole;
--- a/packages/core/http/inspectionPages.ts
+++ b/packages/core/http/inspectionPages.ts
@@ -10,7 +10,7 @@
   readonly incarnation: Incarnation;
   readonly events: EventLog;
   readonly metrics: Metrics;
-  /** Tells why the process should get no new work now, or null when it is ready. */
+  /** Returns why the process should receive no new work now, or null when it is ready. */
   readonly getUnreadyReason: () => string | null;
 }
 
@@ -18,7 +18,7 @@
  * Registers the health, metrics and event pages that every daemon serves.
  *
  * @param server - HTTP server of the daemon
- * @param options - what the pages show
+ * @param options - sources of the data that the pages show
  */
 export const registerInspectionPages = (
   server: FastifyInstance,
--- a/packages/core/ids.ts
+++ b/packages/core/ids.ts
@@ -9,13 +9,13 @@
 export type ClassName = string;
 export type ModelName = string;
 export type VersionName = string;
-/** Start identity of a process: a UUIDv7, so a later start sorts after an earlier one. */
+/** Identifies one start of a process: a UUIDv7, so a later start sorts after an earlier one. */
 export type Incarnation = string;
 /** Offset of a record in one stream of the platform's log. */
 export type Offset = number;
 
 /**
- * Creates an identifier that sorts by its time of creation.
+ * Creates an identifier that sorts by creation time.
  *
  * @returns a UUIDv7
  */
--- a/packages/core/jsonText.ts
+++ b/packages/core/jsonText.ts
@@ -10,9 +10,9 @@
   return errors[0];
 };
 
-/** Names the offset, which the messages of JSON.parse leave out in most cases. */
+/** Adds the offset of the first error, which most messages of `JSON.parse` lack. */
 const describeError = (text: string, reason: string): string => {
-  // The second parser recurses, so a deeply nested text exhausts its stack.
+  // The second parser is recursive, so deeply nested input overflows the stack.
   const found = Result.wrap(() => findFirstError(text)).unwrapOr(undefined);
   if (found === undefined) return `malformed JSON: ${reason}`;
   const name = printParseErrorCode(found.error);
@@ -20,10 +20,10 @@
 };
 
 /**
- * Parses a JSON text.
+ * Parses JSON text.
  *
- * @param text - the text
- * @returns the value, or a sentence that names the offset in characters of the first error
+ * @param text - JSON to parse
+ * @returns the value, or an error message with the offset of the first error in characters
  */
 export const parseJsonText = (text: string): Result<unknown, string> => {
   const parsed = Result.wrap((): unknown => JSON.parse(text));
@@ -39,11 +39,11 @@
 };
 
 /**
- * Parses JSON in UTF-8.
+ * Parses UTF-8 encoded JSON.
  *
- * @param bytes - the encoded text
- * @returns the value, or a sentence that names the offset of the first error: in bytes when the
- *   bytes are not UTF-8, else in characters
+ * @param bytes - encoded JSON
+ * @returns the value, or an error message with the offset of the first error: in bytes when the
+ *   input is not valid UTF-8, otherwise in characters
  */
 export const parseJsonBytes = (bytes: Uint8Array): Result<unknown, string> => {
   const text = Buffer.from(bytes).toString('utf8');
--- a/packages/core/metrics/deferredMetrics.ts
+++ b/packages/core/metrics/deferredMetrics.ts
@@ -1,23 +1,23 @@
 import type { Metrics } from './metrics.js';
 import type { Millis } from '../clock.js';
 
-/** Metrics whose libraries are loaded after the start of a daemon. */
+/** Metrics whose libraries are loaded after a daemon has started. */
 export interface DeferredMetrics {
   readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
   readonly recordLatency: (name: string, className: string, duration: Millis) => void;
   readonly renderText: () => Promise<string>;
-  /** Loads the libraries now. */
+  /** Loads the libraries and applies the pending records. */
   readonly load: () => Promise<void>;
 }
 
-/** Records kept until the libraries are loaded; more are left out. */
+/** Largest number of records buffered until the libraries are loaded; further ones are dropped. */
 const MAX_PENDING_RECORDS = 10_000;
 
 /**
- * Creates metrics that keep their records until the libraries behind them are loaded, so that a
- * restarted daemon serves before it spends processor time on them.
+ * Creates metrics that buffer their records until the metrics libraries are loaded, so that a
+ * restarted daemon serves requests before it spends CPU time on loading them.
  *
- * @returns the metrics
+ * @returns empty metrics
  */
 export const createDeferredMetrics = (): DeferredMetrics => {
   let loaded: Metrics | null = null;
--- a/packages/core/metrics/latency.ts
+++ b/packages/core/metrics/latency.ts
@@ -2,7 +2,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { Millis } from '../clock.js';
 
-/** Microseconds keep sub-millisecond latencies apart in integer buckets. */
+/** Durations are recorded in microseconds, so integer buckets resolve sub-millisecond ones. */
 const MICROS_PER_MILLI = 1_000;
 const HIGHEST_TRACKABLE_MICROS = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
@@ -10,7 +10,7 @@
 /** Histogram of durations. */
 export interface LatencyHistogram {
   readonly record: (duration: Millis) => void;
-  /** Returns the duration below which `share` (0 to 1) of the samples lie, in milliseconds. */
+  /** Returns the duration at a quantile from 0 to 1, in milliseconds. */
   readonly getQuantile: (quantile: number) => Millis;
   readonly getCount: () => number;
   readonly getMean: () => Millis;
@@ -18,7 +18,7 @@
 }
 
 /**
- * Creates a histogram of durations up to one hour.
+ * Creates a histogram of durations up to one hour; longer ones count as one hour.
  *
  * @returns the empty histogram
  */
--- a/packages/core/metrics/metrics.ts
+++ b/packages/core/metrics/metrics.ts
@@ -11,12 +11,12 @@
   readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
   readonly recordLatency: (name: string, className: string, duration: Millis) => void;
   readonly setGauge: (name: string, value: number) => void;
-  /** Renders the text format of the `/metrics` page. */
+  /** Renders all metrics in the Prometheus text format, for the `/metrics` page. */
   readonly renderText: () => Promise<string>;
 }
 
 /**
- * Creates the metrics of a process. Latencies are kept in HDR histograms and shown as quantiles.
+ * Creates the metrics of a process. Latencies are kept in HDR histograms and exported as quantiles.
  *
  * @returns empty metrics
  */
--- a/packages/core/metrics/processGauges.ts
+++ b/packages/core/metrics/processGauges.ts
@@ -1,7 +1,7 @@
 import { Gauge } from 'prom-client';
 import type { Registry } from 'prom-client';
 
-/** Names of the gauges of the process itself, as other Node services call them. */
+/** Names of the process gauges; they follow the convention of Node.js Prometheus clients. */
 export const PROCESS_GAUGES = {
   rss: 'process_resident_memory_bytes',
   heap: 'nodejs_heap_size_used_bytes',
@@ -12,9 +12,9 @@
 const MICROS_PER_SECOND = 1_000_000;
 
 /**
- * Registers memory and processor time of this process. They are read when the page is rendered.
+ * Registers gauges for memory and CPU time of this process, which are read at each rendering.
  *
- * @param registry - registry of the process
+ * @param registry - registry that receives the gauges
  */
 export const registerProcessGauges = (registry: Registry): void => {
   const register = (name: string, help: string, read: () => number): void => {
--- a/packages/core/recordFormat.ts
+++ b/packages/core/recordFormat.ts
@@ -5,12 +5,13 @@
   typeof json === 'object' && json !== null && 'format' in json ? json.format : undefined;
 
 /**
- * Checks the format number of a log record before its other fields, whose meaning depends on it.
+ * Checks the format number of a log record. Call it before reading other fields, because their
+ * meaning depends on the format.
  *
- * @param json - decoded JSON of a record
- * @param supported - format that this version reads
- * @param recordName - name of the record in the message
- * @returns a failure with code `unsupported-format`, or null for a known or absent format
+ * @param json - parsed JSON of the record
+ * @param supported - format number that this version supports
+ * @param recordName - name of the record in the failure message
+ * @returns a failure with code `unsupported-format`, or null for a supported or absent format
  */
 export const checkRecordFormat = (
   json: unknown,
--- a/packages/core/verdict.ts
+++ b/packages/core/verdict.ts
@@ -1,9 +1,9 @@
 import type { Millis } from './clock.js';
 
-/** Says whether a request may have run at an endpoint. */
+/** What is known about whether a request ran at an endpoint. */
 export type Verdict = 'not-run' | 'may-have-run' | 'ran';
 
-/** Every reason for which a request can fail. */
+/** All reasons for which a request can fail. */
 export const FAILURE_CODES = [
   'bad-request',
   'unauthorized',
@@ -36,22 +36,22 @@
 
 export type FailureCode = (typeof FAILURE_CODES)[number];
 
-/** A failure together with what is known about the request's execution. */
+/** Failure of a request, with what is known about its execution. */
 export interface Failure {
   readonly verdict: Verdict;
   readonly code: FailureCode;
   readonly message: string;
-  /** Earliest time after which a retry is useful, in milliseconds from now. */
+  /** Minimum delay before a retry is useful, in milliseconds. */
   readonly retryAfterMs?: Millis;
 }
 
 /**
  * Creates a failure.
  *
- * @param verdict - whether the request may have run
+ * @param verdict - what is known about the request's execution
  * @param code - reason of the failure
- * @param message - sentence for the caller
- * @param retryAfterMs - earliest useful retry in milliseconds from now
+ * @param message - error message for the caller
+ * @param retryAfterMs - minimum delay before a retry is useful, in milliseconds
  * @returns the failure
  */
 export const createFailure = (
