Reword the comments of wire

'Our processes', 'link', 'room' and 'good' were vague. The comments now say daemons, connection, reserved bytes and validity, and why an unknown verdict is read as may-have-run.

--- a/packages/wire/constants.ts
+++ b/packages/wire/constants.ts
@@ -1,23 +1,26 @@
-/** Version of the messages between our processes. */
+/** Format version of the messages between the daemons. */
 export const MESSAGE_FORMAT = 1;
 
-/** Largest message between our processes. */
+/** Largest message between the daemons, in bytes. */
 export const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
-/** Room in a message beside its body; Node accepts at most 16 KiB of headers with their path. */
+/**
+ * Bytes of a message reserved for everything but its body. Node accepts at most 16 KiB of headers,
+ * including the path.
+ */
 export const MESSAGE_OVERHEAD_BYTES = 64 * 1024;
 
-/** Time for which a resume ticket is good after its stream began. */
+/** Validity of a resume ticket from the start of its stream, in milliseconds. */
 export const TICKET_LIFETIME_MS = 3_600_000;
 
-/** Silence of a link after which it is probed. */
+/** Idle time of a connection after which it is pinged. */
 export const CONNECTION_PING_INTERVAL_MS = 1_000;
 
-/** Time within which a probe must be answered, else the link counts as broken. */
+/** Time within which a ping must be answered; otherwise the connection counts as broken. */
 export const CONNECTION_PING_TIMEOUT_MS = 1_000;
 
-/** Time that peers get to end their links once a listener closes. */
+/** Grace period for peers to close their connections once a listener closes. */
 export const CLOSE_GRACE_MS = 2_000;
 
-/** Calls on one link at a time; every running stream holds one. */
+/** Concurrent calls on one connection; every running stream occupies one. */
 export const MAX_CONCURRENT_STREAMS_PER_CONNECTION = 100_000;
--- a/packages/wire/failureCodec.ts
+++ b/packages/wire/failureCodec.ts
@@ -7,7 +7,7 @@
 const VERDICTS: readonly Verdict[] = ['not-run', 'may-have-run', 'ran'];
 
 /**
- * Encodes a failure for another process.
+ * Encodes a failure as a message to another process.
  *
  * @param failure - failure to send
  * @returns the message
@@ -21,8 +21,8 @@
   });
 
 /**
- * Decodes a failure from another process. An unknown code counts as `internal`, and a verdict this version does not know counts as
- * `may-have-run`, the only safe reading.
+ * Decodes a failure from another process. An unknown code is read as `internal` and an unknown
+ * verdict as `may-have-run`, because a retry of a request that ran would be unsafe.
  *
  * @param message - received message
  * @returns the failure
--- a/packages/wire/messageSize.ts
+++ b/packages/wire/messageSize.ts
@@ -5,11 +5,12 @@
 const MAX_BODY_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES;
 
 /**
- * Checks that a body fits into one message between our processes. A message above the limit is
- * refused by its receiver only after it was sent, and its sender then cannot tell the verdict.
+ * Checks that a body fits into one message between the daemons, before it is sent. The receiver
+ * would refuse a larger message only after it was sent, and the sender could then not determine the
+ * verdict.
  *
- * @param body - body of a request or an answer
- * @param bodyName - name of the body in the message
+ * @param body - body of a request or a response
+ * @param bodyName - name of the body in the failure message
  * @param verdict - what is known about the request's execution
  * @returns a `too-large` failure, or null when the body fits
  */
--- a/packages/wire/problem.ts
+++ b/packages/wire/problem.ts
@@ -2,7 +2,7 @@
 import type { RequestId } from '../core/ids.js';
 import type { Failure, FailureCode } from '../core/verdict.js';
 
-/** Body of an error answer, `application/problem+json`. */
+/** Body of an error response, `application/problem+json`. */
 export interface Problem {
   readonly type: string;
   readonly title: string;
@@ -11,12 +11,12 @@
   readonly code: FailureCode;
   readonly verdict: Failure['verdict'];
   readonly requestId: RequestId;
-  /** Copy of the message where clients of the chat-completions interface look for it. */
+  /** Copy of the error where clients of the chat-completions API expect it. */
   readonly error: { readonly message: string; readonly type: string; readonly code: FailureCode };
 }
 
 /**
- * Chooses the HTTP status of a failure.
+ * Maps a failure code to an HTTP status.
  *
  * @param code - reason of the failure
  * @returns the status code
@@ -68,10 +68,10 @@
 };
 
 /**
- * Renders a failure for a caller.
+ * Converts a failure to a problem document for the caller.
  *
- * @param failure - reason and verdict
- * @param requestId - request that failed
+ * @param failure - failure to report
+ * @param requestId - id of the failed request
  * @returns the problem document
  */
 export const toProblem = (failure: Failure, requestId: RequestId): Problem => ({
--- a/packages/wire/resumeTicket.test.ts
+++ b/packages/wire/resumeTicket.test.ts
@@ -11,14 +11,14 @@
   expiresAt: 1_800_000_000_000,
 };
 
-// Guards against a ticket that loses or mixes up a field.
-test('a signed ticket gives back its content', (t) => {
+// Guards against a ticket that loses or swaps a field.
+test('a signed ticket decodes to its content', (t) => {
   const id = formatEventId(signTicket(TICKET, KEY), 41);
   t.deepEqual(verifyEventId(id, KEY, 0).unwrap(), { ticket: TICKET, lastNumber: 41 });
 });
 
-// Guards against a caller who reads the stream of another by changing a ticket.
-test('a changed, foreign, expired or malformed ticket is refused', (t) => {
+// Guards against a caller who reads another caller's stream with a forged ticket.
+test('a tampered, foreign, expired or malformed ticket is refused', (t) => {
   const signed = signTicket(TICKET, KEY);
   const middle = Math.floor(signed.length / 2);
   const flipped = signed[middle] === 'A' ? 'B' : 'A';
--- a/packages/wire/resumeTicket.ts
+++ b/packages/wire/resumeTicket.ts
@@ -5,7 +5,7 @@
 import type { Millis } from '../core/clock.js';
 import type { CustomerId, EndpointId, GenerationId, Incarnation } from '../core/ids.js';
 
-/** What any entry daemon needs to resume a stream; the caller carries it as the SSE event id. */
+/** Data that an entry daemon needs to resume a stream; callers return it as the SSE event id. */
 export interface ResumeTicket {
   readonly generationId: GenerationId;
   readonly endpoint: EndpointId;
@@ -33,11 +33,11 @@
 /**
  * Signs a resume ticket.
  *
- * The ticket replaces a table of streams that all entry daemons would share.
+ * The ticket makes a table of streams shared by all entry daemons unnecessary.
  *
  * @param ticket - content of the ticket
  * @param key - secret shared by all entry daemons
- * @returns the signed ticket, safe in an SSE event id
+ * @returns the signed ticket in base64url, which is valid in an SSE event id
  */
 export const signTicket = (ticket: ResumeTicket, key: string): string => {
   const expiry = Buffer.alloc(EXPIRY_BYTES);
@@ -72,7 +72,7 @@
 };
 
 /**
- * Formats the event id of one chunk.
+ * Formats the SSE event id of a chunk.
  *
  * @param signedTicket - result of `signTicket`
  * @param number - number of the chunk
@@ -82,12 +82,12 @@
   `${signedTicket}.${number.toString()}`;
 
 /**
- * Reads a `Last-Event-ID` header.
+ * Decodes and verifies a `Last-Event-ID` header.
  *
  * @param eventId - value of the header
  * @param key - secret shared by all entry daemons
  * @param now - current instant
- * @returns the resume point, or what is wrong with the id
+ * @returns the resume point, or why the id is invalid
  */
 export const verifyEventId = (
   eventId: string,
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -10,18 +10,18 @@
   MAX_MESSAGE_BYTES,
 } from './constants.js';
 
-/** Listening side of the messages between our processes. */
+/** Server side of the calls between the daemons. */
 export interface RpcListener {
-  /** Starts to listen and returns the base URL. */
+  /** Starts listening and resolves to the base URL. */
   readonly listen: (host: string, port: number) => Promise<string>;
-  /** Accepts no more calls and ends when the running ones have ended. */
+  /** Accepts no new calls; resolves once running ones end or the grace period is over. */
   readonly close: () => Promise<void>;
 }
 
 /**
- * Creates a listener for calls between our processes, over HTTP/2 without TLS.
+ * Creates a listener for calls between the daemons, over HTTP/2 without TLS.
  *
- * @param routes - services that it offers
+ * @param routes - registers the services that it offers
  * @returns the listener, not yet listening
  */
 export const createRpcListener = (routes: (router: ConnectRouter) => void): RpcListener => {
@@ -54,7 +54,7 @@
           resolve();
         });
         for (const session of sessions) session.close();
-        // A peer that never ends a stream would keep the process from its exit.
+        // A peer that never ends a stream would otherwise prevent the process from exiting.
         setTimeout(() => {
           for (const session of sessions) session.destroy();
         }, CLOSE_GRACE_MS).unref();
@@ -63,7 +63,8 @@
 };
 
 /**
- * Creates the connection to a peer. Pings find a frozen link that TCP would keep for minutes.
+ * Creates the HTTP/2 session to a peer. Pings detect an unresponsive connection that TCP would keep
+ * open for minutes.
  *
  * @param url - base URL of the peer
  * @returns the session manager
--- a/packages/wire/storedGeneration.ts
+++ b/packages/wire/storedGeneration.ts
@@ -4,13 +4,13 @@
 import { createFailure, FAILURE_CODES } from '../core/verdict.js';
 import type { Failure } from '../core/verdict.js';
 
-/** Answer of a generation as an endpoint daemon holds it for a repeated key. */
+/** Answer of a generation, stored by an endpoint daemon for requests that repeat its key. */
 export type StoredGeneration =
   | {
       readonly kind: 'finished';
-      /** JSON of the choices list of each chunk, in order. */
+      /** The `choices` list of each chunk as JSON, in order. */
       readonly choices: readonly string[];
-      /** JSON of the engine's usage record, or empty. */
+      /** The engine's usage record as JSON, or an empty string. */
       readonly usage: string;
     }
   | { readonly kind: 'failed'; readonly failure: Failure };
@@ -36,7 +36,7 @@
 ]);
 
 /**
- * Encodes an answer for the reply to a fence.
+ * Encodes a stored answer for the reply to a fence request.
  *
  * @param stored - the answer
  * @returns JSON as UTF-8
@@ -45,10 +45,11 @@
   Buffer.from(JSON.stringify({ format: FORMAT, ...stored }));
 
 /**
- * Decodes an answer from the reply to a fence.
+ * Decodes a stored answer from the reply to a fence request.
  *
  * @param body - JSON as UTF-8
- * @returns the answer, or a `ran` failure when the body has another format
+ * @returns the answer, or an `unsupported-format` failure with verdict `ran` when the body cannot
+ *   be decoded
  */
 export const decodeStoredGeneration = (body: Uint8Array): Result<StoredGeneration, Failure> => {
   try {
