Reword the comments, descriptions and errors of settings

Descriptions such as 'Requests that wait' lacked a unit or what the number bounds; they now say the largest number or size. 'IP number' is 'IP address' in errors and in the test that checks one, and 'faults' of a file are issues or syntax errors. docs/SETTINGS.md has to be generated again.

--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -1,8 +1,8 @@
 import type { Millis } from '../core/clock.js';
 
-/** Time a daemon waits for its running work when it stops. */
+/** Time that a stopping daemon waits for its running work. */
 export const DEFAULT_DRAIN_MS: Millis = 30_000;
-/** Largest request body of a caller. */
+/** Largest request body of a caller, in bytes. */
 export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 /** Twice the 2,000 streams that one entry daemon has to carry. */
 export const DEFAULT_MAX_REQUESTS = 4_096;
@@ -13,7 +13,7 @@
 export const DEFAULT_MAX_TIMED_KEYS = 75_000;
 export const DEFAULT_START_LIMIT = 2;
 export const DEFAULT_MAX_LIMIT = 256;
-/** Tokens of each running sequence that are evidence for one step of the ramp. */
+/** Tokens per running sequence that must be generated before the limit grows by one step. */
 export const DEFAULT_EVIDENCE_TOKENS = 256;
 export const DEFAULT_MAX_CHUNKS = 65_536;
 export const DEFAULT_BUFFER_BYTES = 268_435_456;
@@ -24,9 +24,9 @@
 export const DEFAULT_HEARTBEAT_INTERVAL_MS: Millis = 500;
 export const DEFAULT_LEASE_MS: Millis = 2_000;
 export const DEFAULT_SUBSET_SIZE = 4;
-/** Shortest secret that is accepted for the signature of resume tickets. */
+/** Minimum length of the secret that signs resume tickets, in characters. */
 export const MIN_TICKET_KEY_LENGTH = 32;
-/** Placement policy of an entry daemon whose settings name none. */
+/** Placement policy of an entry daemon whose settings specify none. */
 export const DEFAULT_POLICY = {
   kind: 'predicted-headroom',
   choices: 4,
--- a/packages/settings/duplicates.ts
+++ b/packages/settings/duplicates.ts
@@ -1,12 +1,12 @@
 import type { z } from 'zod';
 
 /**
- * Reports each item whose key field repeats that of an earlier item.
+ * Adds an issue for each item whose key field has the same value as that of an earlier item.
  *
  * @param items - items of one list
- * @param listName - field that holds the list
- * @param key - field that must be unique in the list
- * @param context - receives the problems
+ * @param listName - name of the field that holds the list
+ * @param key - field whose value must be unique in the list
+ * @param context - refinement context that receives the issues
  */
 export const addDuplicateIssues = <Key extends string>(
   items: readonly Readonly<Record<Key, string>>[],
@@ -20,7 +20,7 @@
       context.addIssue({
         code: 'custom',
         path: [listName, index, key],
-        message: `expected a ${key} that no earlier item of ${listName} has`,
+        message: `expected a unique ${key}, but an earlier item of ${listName} has the same one`,
       });
     }
     seen.add(item[key]);
--- a/packages/settings/endpointSchema.ts
+++ b/packages/settings/endpointSchema.ts
@@ -32,7 +32,7 @@
     version: buildNameSchema('Version of the model.'),
     fencing: z
       .enum(['checked', 'ignored'])
-      .describe('Whether the engine refuses an order with an old fencing number.'),
+      .describe('Whether the engine refuses a command with an outdated fencing number.'),
   }),
   z.strictObject({
     kind: z.literal('service'),
@@ -44,13 +44,21 @@
 
 const ADMISSION_SCHEMA = z
   .strictObject({
-    startLimit: buildCountSchema(DEFAULT_START_LIMIT, 'Concurrent sequences after a start.'),
-    maxLimit: buildCountSchema(DEFAULT_MAX_LIMIT, 'Largest admission limit.'),
+    startLimit: buildCountSchema(
+      DEFAULT_START_LIMIT,
+      'Admission limit after a start, in concurrent sequences.',
+    ),
+    maxLimit: buildCountSchema(
+      DEFAULT_MAX_LIMIT,
+      'Largest admission limit, in concurrent sequences.',
+    ),
     evidenceTokens: buildCountSchema(
       DEFAULT_EVIDENCE_TOKENS,
-      'Tokens of each sequence that let the limit grow by a quarter; fewer for an engine that warms up fast.',
+      'Tokens per sequence that must be generated before the limit grows by a quarter; choose fewer for an engine that warms up fast.',
     ),
-    memorySafetyShare: buildShareSchema('Share of engine memory that is kept free.').optional(),
+    memorySafetyShare: buildShareSchema(
+      'Share of engine memory that is kept free as a safety margin.',
+    ).optional(),
   })
   .refine((admission) => admission.startLimit <= admission.maxLimit, {
     path: ['startLimit'],
@@ -60,10 +68,13 @@
 
 const BUFFER_SCHEMA = z
   .strictObject({
-    maxChunks: buildCountSchema(DEFAULT_MAX_CHUNKS, 'Chunks that are kept of one generation.'),
+    maxChunks: buildCountSchema(
+      DEFAULT_MAX_CHUNKS,
+      'Largest number of buffered chunks per generation.',
+    ),
     maxTotalBytes: buildCountSchema(
       DEFAULT_BUFFER_BYTES,
-      'Bytes of the chunks of all generations.',
+      'Largest total size of the buffered chunks of all generations, in bytes.',
     ),
     retentionMs: buildDurationSchema(
       DEFAULT_BUFFER_RETENTION_MS,
@@ -80,11 +91,11 @@
   .strictObject({
     maxBytes: buildCountSchema(
       DEFAULT_ANSWER_BYTES,
-      'Bytes of the kept answers of plain services.',
+      'Largest total size of the stored answers of plain services, in bytes.',
     ),
     retentionMs: buildDurationSchema(
       DEFAULT_ANSWER_RETENTION_MS,
-      'Time for which the answer of a non-repeatable call is kept.',
+      'Time for which the answer of a non-repeatable call is stored.',
     ),
   })
   .prefault({});
@@ -96,7 +107,10 @@
       DEFAULT_LEASE_MS,
       'Age of the last acknowledged heartbeat beyond which new work is refused.',
     ),
-    subsetSize: buildCountSchema(DEFAULT_SUBSET_SIZE, 'Entry daemons that receive the heartbeats.'),
+    subsetSize: buildCountSchema(
+      DEFAULT_SUBSET_SIZE,
+      'Number of entry daemons that receive the heartbeats.',
+    ),
   })
   .refine((heartbeat) => heartbeat.intervalMs < heartbeat.leaseMs, {
     path: ['intervalMs'],
@@ -118,6 +132,9 @@
   buffer: BUFFER_SCHEMA,
   answers: ANSWERS_SCHEMA,
   heartbeat: HEARTBEAT_SCHEMA,
-  drainMs: buildDurationSchema(DEFAULT_DRAIN_MS, 'Time for running streams when the daemon stops.'),
+  drainMs: buildDurationSchema(
+    DEFAULT_DRAIN_MS,
+    'Time that a stopping daemon waits for its running streams.',
+  ),
   log: LOG_SCHEMA,
 });
--- a/packages/settings/entrySchema.ts
+++ b/packages/settings/entrySchema.ts
@@ -25,12 +25,18 @@
 const CUSTOMER_SCHEMA = z.strictObject({
   id: buildNameSchema('Name of the customer.'),
   keyHash: buildKeyHashSchema("SHA-256 of the customer's bearer key in hexadecimal."),
-  weight: z.number().positive().default(1).describe('Share of the customer in a crowded queue.'),
-  defaultClass: buildNameSchema('Class of requests without X-Chestnutspan-Class.').optional(),
+  weight: z
+    .number()
+    .positive()
+    .default(1)
+    .describe('Relative share of the customer when requests queue.'),
+  defaultClass: buildNameSchema(
+    'Class of requests without an X-Chestnutspan-Class header.',
+  ).optional(),
 });
 
 const OPERATOR_SCHEMA = z.strictObject({
-  name: buildNameSchema('Name of the operator; it becomes the author of records.'),
+  name: buildNameSchema('Name of the operator, stored as the author of published records.'),
   keyHash: buildKeyHashSchema("SHA-256 of the operator's bearer key in hexadecimal."),
 });
 
@@ -45,17 +51,22 @@
   repeat: z
     .enum(['allowed', 'never'])
     .describe('Whether a request may run more than once; `never` needs an idempotency key.'),
-  className: buildNameSchema('Class of the route, before the default of the customer.').optional(),
+  className: buildNameSchema(
+    "Class of the route; overrides the customer's default class.",
+  ).optional(),
 });
 
 const SERVICE_SCHEMA = z.strictObject({
   name: buildNameSchema('Name of the service in `/services/{name}/...`.'),
-  routes: z.array(ROUTE_SCHEMA).min(1).describe('Routes; others are refused.'),
+  routes: z
+    .array(ROUTE_SCHEMA)
+    .min(1)
+    .describe('Routes of the service; requests to any other route are refused.'),
 });
 
 const POLICY_SCHEMA = z
   .discriminatedUnion('kind', [
-    z.strictObject({ kind: z.literal('round-robin').describe('One endpoint after the other.') }),
+    z.strictObject({ kind: z.literal('round-robin').describe('Each endpoint in turn.') }),
     z.strictObject({
       kind: z.literal('least-requests').describe('The endpoint with the fewest requests.'),
     }),
@@ -65,11 +76,11 @@
         .describe('The endpoint whose memory is least likely to overflow; the default policy.'),
       choices: buildCountSchema(
         DEFAULT_POLICY.choices,
-        'Endpoints that are weighed for one request.',
+        'Number of endpoints compared for one request.',
       ),
       horizonMs: buildDurationSchema(
         DEFAULT_POLICY.horizonMs,
-        'Time ahead for which the overflow of memory is predicted.',
+        'Horizon of the prediction of memory overflow.',
       ),
       overflowProbability: buildShareSchema(
         'Largest predicted probability of an overflow at which a request is admitted.',
@@ -85,20 +96,26 @@
 
 const LIMITS_SCHEMA = z
   .strictObject({
-    maxBodyBytes: buildCountSchema(DEFAULT_MAX_BODY_BYTES, 'Largest body of a request.'),
-    maxRequests: buildCountSchema(DEFAULT_MAX_REQUESTS, 'Requests in progress; more are shed.'),
-    queueCapacity: buildCountSchema(DEFAULT_QUEUE_CAPACITY, 'Requests that wait, for each class.'),
+    maxBodyBytes: buildCountSchema(DEFAULT_MAX_BODY_BYTES, 'Largest request body, in bytes.'),
+    maxRequests: buildCountSchema(
+      DEFAULT_MAX_REQUESTS,
+      'Largest number of requests in progress; further ones are shed.',
+    ),
+    queueCapacity: buildCountSchema(
+      DEFAULT_QUEUE_CAPACITY,
+      'Largest number of queued requests per class.',
+    ),
     keyWindowMs: buildDurationSchema(
       DEFAULT_KEY_WINDOW_MS,
       'Time for which the key of a non-repeatable call is remembered.',
     ),
     maxUntimedKeys: buildCountSchema(
       DEFAULT_MAX_UNTIMED_KEYS,
-      'Keys without a time of issue that are kept; more are refused.',
+      'Largest number of remembered keys without an issue time; further ones are refused.',
     ),
     maxTimedKeys: buildCountSchema(
       DEFAULT_MAX_TIMED_KEYS,
-      'Keys with a time of issue that are kept; more are refused.',
+      'Largest number of remembered keys with an issue time; further ones are refused.',
     ),
   })
   .prefault({});
@@ -122,15 +139,15 @@
         error: `expected a secret of at least ${MIN_TICKET_KEY_LENGTH.toString()} characters`,
       })
       .describe('Secret that signs resume tickets, the same at all entry daemons.'),
-    customers: z.array(CUSTOMER_SCHEMA).describe('Customers that may call.'),
-    operators: z.array(OPERATOR_SCHEMA).default([]).describe('Operators that may publish.'),
+    customers: z.array(CUSTOMER_SCHEMA).describe('Customers that may send requests.'),
+    operators: z.array(OPERATOR_SCHEMA).default([]).describe('Operators that may publish records.'),
     services: z.array(SERVICE_SCHEMA).default([]).describe('Plain services.'),
     models: z.array(buildNameSchema('Name of a served model.')).default([]),
     policy: POLICY_SCHEMA,
     limits: LIMITS_SCHEMA,
     drainMs: buildDurationSchema(
       DEFAULT_DRAIN_MS,
-      'Time for running requests when the daemon stops.',
+      'Time that a stopping daemon waits for its running requests.',
     ),
     webhookUrl: buildUrlSchema('URL that receives notifications for operators.').optional(),
     log: LOG_SCHEMA,
--- a/packages/settings/fields.ts
+++ b/packages/settings/fields.ts
@@ -11,8 +11,8 @@
 /**
  * Builds the schema of a name.
  *
- * @param description - meaning of the field for docs/SETTINGS.md
- * @returns a schema of non-empty text
+ * @param description - description of the field in docs/SETTINGS.md
+ * @returns a schema of non-empty strings
  */
 export const buildNameSchema = (description: string) =>
   z.string().min(1, { error: 'expected a non-empty name' }).describe(description);
@@ -20,9 +20,9 @@
 /**
  * Builds the schema of a duration.
  *
- * @param defaultMs - default in milliseconds
+ * @param defaultMs - default value in milliseconds
  * @param description - meaning of the field
- * @returns a schema of whole milliseconds above 0
+ * @returns a schema of positive integers, in milliseconds
  */
 export const buildDurationSchema = (defaultMs: number, description: string) =>
   z.int().positive().default(defaultMs).describe(description);
@@ -30,15 +30,15 @@
 /**
  * Builds the schema of a count or a size.
  *
- * @param defaultValue - default
+ * @param defaultValue - default value
  * @param description - meaning of the field
- * @returns a schema of whole numbers above 0
+ * @returns a schema of positive integers
  */
 export const buildCountSchema = (defaultValue: number, description: string) =>
   z.int().positive().default(defaultValue).describe(description);
 
 /**
- * Builds the schema of a share.
+ * Builds the schema of a share, such as a fraction or a probability.
  *
  * @param description - meaning of the field
  * @returns a schema of numbers from 0 to 1
@@ -47,15 +47,15 @@
   z.number().min(0).max(1).describe(description);
 
 /**
- * Builds the schema of a URL. Hosts are IP numbers, because the daemons use no name service.
+ * Builds the schema of a URL. Hosts are IP addresses, because the daemons use no DNS.
  *
  * @param description - meaning of the field
- * @returns a schema of http or https URLs whose host is an IP number
+ * @returns a schema of http or https URLs whose host is an IP address
  */
 export const buildUrlSchema = (description: string) =>
   z
     .string()
-    .refine(isIpAddressUrl, { error: 'expected an http URL whose host is an IP number' })
+    .refine(isIpAddressUrl, { error: 'expected an http URL whose host is an IP address' })
     .describe(description);
 
 /**
@@ -73,16 +73,16 @@
 /**
  * Builds the schema of an address to listen on.
  *
- * @param interfaceName - what is served there
- * @returns a strict schema of an IP number and a port; port 0 takes a free one
+ * @param interfaceName - name of the interface that is served there
+ * @returns a strict schema of an IP address and a port; port 0 selects a free port
  */
 export const buildAddressSchema = (interfaceName: string) =>
   z.strictObject({
     host: z
       .string()
-      .refine((host) => isIP(host) !== 0, { error: 'expected an IP number, not a host name' })
-      .describe(`IP number of ${interfaceName}.`),
-    port: z.int().min(0).max(65_535).describe(`Port of ${interfaceName}; 0 takes a free port.`),
+      .refine((host) => isIP(host) !== 0, { error: 'expected an IP address, not a host name' })
+      .describe(`IP address of ${interfaceName}.`),
+    port: z.int().min(0).max(65_535).describe(`Port of ${interfaceName}; 0 selects a free port.`),
   });
 
 /** Schema of the log output, the same for both daemons. */
@@ -91,6 +91,6 @@
     format: z
       .enum(['json', 'text'])
       .default('json')
-      .describe('One JSON line for each event, or a short line for people.'),
+      .describe('One JSON line per event, or a short human-readable line.'),
   })
   .prefault({});
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -47,11 +47,11 @@
 };
 
 /**
- * Checks the text of a settings file and fills in its defaults.
+ * Validates the text of a settings file and fills in defaults.
  *
  * @param text - JSON with comments
- * @param kind - daemon that the file is for
- * @returns the settings, or every problem with its place
+ * @param kind - kind of daemon that the file is for
+ * @returns the settings, or every problem with its position
  */
 export const parseSettings = <Kind extends SettingsKind>(
   text: string,
@@ -64,10 +64,10 @@
   });
 
 /**
- * Reads a file of JSON with comments that no schema of this package describes.
+ * Reads a file of JSON with comments without validating it against a schema.
  *
- * @param path - file
- * @returns the value, or the faults of the file's syntax
+ * @param path - path of the file
+ * @returns the value, or the problems of a file that cannot be read or parsed
  */
 export const loadJson = (path: string): Result<unknown, SettingsProblems> =>
   readText(path)
@@ -75,10 +75,10 @@
     .map(({ value }) => value);
 
 /**
- * Reads and checks a settings file. Nothing else happens: no address is opened.
+ * Reads and validates a settings file. It has no other effect: no address is opened.
  *
- * @param path - file of JSON with comments
- * @param kind - daemon that the file is for
+ * @param path - path of a file of JSON with comments
+ * @param kind - kind of daemon that the file is for
  * @returns the settings with all defaults, or every problem with field path, line and column
  */
 export const loadSettings = <Kind extends SettingsKind>(
@@ -88,10 +88,11 @@
   readText(path).andThen((text) => parseSettings(text, kind));
 
 /**
- * Finds out for which daemon a settings file is written.
+ * Determines the kind of daemon that a settings file is for.
  *
- * @param path - file of JSON with comments
- * @returns the kind, or the problem of a file that cannot be read or names neither daemon
+ * @param path - path of a file of JSON with comments
+ * @returns the kind, or the problems of a file that cannot be read or parsed, or that fits neither
+ *   daemon
  */
 export const findSettingsKind = (path: string): Result<SettingsKind, SettingsProblems> =>
   loadJson(path).andThen((value) => {
--- a/packages/settings/page.ts
+++ b/packages/settings/page.ts
@@ -79,7 +79,7 @@
   [
     '# Settings',
     '',
-    'Settings are files of JSON with comments. Unknown fields are errors. Times are in milliseconds and their names end in `Ms`. Hosts are IP numbers, not names. `chestnutspan config check FILE` checks a file and starts nothing. A path such as `policy(round-robin).kind` belongs to one kind of a field with several kinds. `npm run docs` writes this page from the schema in the code.',
+    'Settings are files of JSON with comments. Unknown fields are errors. Times are in milliseconds and their names end in `Ms`. Hosts are IP addresses, not names. `chestnutspan config check FILE` checks a file and starts nothing. A path such as `policy(round-robin).kind` belongs to one variant of a field that has several. `npm run docs` writes this page from the schema in the code.',
     '',
     '## Entry daemon',
     '',
--- a/packages/settings/problems.ts
+++ b/packages/settings/problems.ts
@@ -7,11 +7,11 @@
 type Path = readonly Segment[];
 
 /**
- * Finds line and column of a position in a text.
+ * Converts an offset in a text to a line and a column.
  *
  * @param text - text of the file
- * @param offset - position in characters from 0
- * @returns line and column, both from 1
+ * @param offset - offset in characters, from 0
+ * @returns the line and the column, both from 1
  */
 const findPosition = (text: string, offset: number): Pick<SettingsProblem, 'line' | 'column'> => {
   const before = text.slice(0, offset).split('\n');
@@ -24,7 +24,7 @@
     return text === '' ? segment : `${text}.${segment}`;
   }, '');
 
-/** Finds the value at a path, or the innermost object around it that the file has. */
+/** Finds the offset of the value at a path, or of its innermost ancestor that the file contains. */
 const findOffset = (root: Node | undefined, path: Path): number => {
   if (root === undefined) return 0;
   for (let length = path.length; length > 0; length -= 1) {
@@ -43,7 +43,7 @@
   if (issue.code === 'invalid_union') {
     const kinds = (issue as { options?: readonly unknown[] }).options ?? [];
     return kinds.length === 0
-      ? 'expected another form'
+      ? 'expected a value of one of the allowed types'
       : `expected one of ${kinds.map((kind) => JSON.stringify(kind)).join(', ')}`;
   }
   return issue.message.replace(/^(Invalid (input|option|string): )/, '');
@@ -71,12 +71,12 @@
 };
 
 /**
- * Describes the faults that a schema found, in the order of the file.
+ * Converts schema issues to problems, in the order of their position in the file.
  *
- * @param issues - faults of the schema
+ * @param issues - issues reported by the schema
  * @param text - text of the file
  * @param root - syntax tree of the file
- * @returns one problem for each fault, with its place
+ * @returns the problems, with their positions
  */
 export const describeIssues = (
   issues: readonly Issue[],
@@ -88,11 +88,11 @@
     .sort((left, right) => left.line - right.line || left.column - right.column);
 
 /**
- * Describes the faults of the syntax.
+ * Converts syntax errors to problems.
  *
- * @param errors - faults that the parser found
+ * @param errors - errors reported by the parser
  * @param text - text of the file
- * @returns one problem for each fault
+ * @returns one problem per error
  */
 export const describeSyntax = (
   errors: readonly ParseError[],
--- a/packages/settings/settings.test.ts
+++ b/packages/settings/settings.test.ts
@@ -6,7 +6,7 @@
 const ENTRY = 'app/settings/entry.jsonc';
 const ENDPOINT = 'app/settings/endpoint.jsonc';
 
-// Guards against example files that a daemon would refuse, and against lost defaults.
+// Guards against example files that a daemon refuses, and against missing defaults.
 test('the example files are valid and get their defaults', (t) => {
   const entry = loadSettings(ENTRY, 'entry').unwrap();
   t.is(entry.limits.maxBodyBytes, 1_048_576);
@@ -16,12 +16,12 @@
   t.is(endpoint.answers.retentionMs, 600_000);
 });
 
-// Guards against a settings page that no longer matches the schema.
+// Guards against a generated page that is out of date with the schemas in the code.
 test('docs/SETTINGS.md lists exactly the fields of the schema', (t) => {
   t.is(readFileSync('docs/SETTINGS.md', 'utf8'), renderSettingsPage());
 });
 
-// Guards against a misspelt field that is ignored and leaves a default in force.
+// Guards against a misspelt field that is ignored, so that its default applies unnoticed.
 test('each problem names its field path, line, column and what was expected', (t) => {
   const text = readFileSync(ENDPOINT, 'utf8')
     .replace('"host": "127.0.0.1", "port": 8180', '"host": "localhost", "port": 8180')
@@ -32,7 +32,7 @@
       path: 'http.host',
       line: 7,
       column: 21,
-      expected: 'expected an IP number, not a host name',
+      expected: 'expected an IP address, not a host name',
     },
     {
       path: 'target.fencing',
@@ -44,8 +44,8 @@
   ]);
 });
 
-// Guards against unusable messages for a missing field, an unknown kind and broken syntax.
-test('missing fields, unknown kinds and syntax faults are placed', (t) => {
+// Guards against unhelpful messages for a missing field, an unknown kind and a syntax error.
+test('missing fields, unknown kinds and syntax errors are reported with their position', (t) => {
   const text = readFileSync(ENDPOINT, 'utf8');
   const missing = parseSettings(text.replace('"version": "v1",', ''), 'endpoint').unwrapErr();
   t.deepEqual(
@@ -59,8 +59,8 @@
   t.is(loadSettings('no-such-file.jsonc', 'entry').unwrapErr()[0]?.path, '');
 });
 
-// Guards against two customers with one key, of which the second could never be recognised.
-test('a repeated customer key is refused at the second customer', (t) => {
+// Guards against two customers with the same key, of which the second could never be identified.
+test('a duplicate customer key is reported at the second customer', (t) => {
   const text = readFileSync(ENTRY, 'utf8');
   const customer = /\{[^{}]*"caroni"[^{}]*\},/.exec(text)?.[0] ?? '';
   const doubled = text.replace(customer, `${customer}${customer.replace('caroni', 'awash')}`);
@@ -71,8 +71,8 @@
   );
 });
 
-// Guards against a check of the wrong schema when no kind is given.
-test('the kind of a file is found from its fields', (t) => {
+// Guards against validation with the wrong schema when no kind is given.
+test('the kind of a settings file is determined from its fields', (t) => {
   t.is(findSettingsKind(ENTRY).unwrap(), 'entry');
   t.is(findSettingsKind(ENDPOINT).unwrap(), 'endpoint');
   t.true(findSettingsKind('package.json').isErr());
--- a/packages/settings/types.ts
+++ b/packages/settings/types.ts
@@ -2,7 +2,7 @@
 import type { ENDPOINT_SCHEMA } from './endpointSchema.js';
 import type { ENTRY_SCHEMA } from './entrySchema.js';
 
-/** The same shape with every field and list read-only. */
+/** Makes every field and list of a type read-only, recursively. */
 type DeepReadonly<Value> = Value extends readonly (infer Item)[]
   ? readonly DeepReadonly<Item>[]
   : Value extends object
@@ -15,7 +15,7 @@
 /** Settings of an endpoint daemon, with all defaults filled in. */
 export type EndpointSettings = DeepReadonly<z.output<typeof ENDPOINT_SCHEMA>>;
 
-/** Which daemon a settings file is for. */
+/** Kind of daemon that a settings file is for. */
 export type SettingsKind = 'entry' | 'endpoint';
 
 /** Settings type of each kind of daemon. */
@@ -24,7 +24,7 @@
   readonly endpoint: EndpointSettings;
 }
 
-/** One fault of a settings file. */
+/** One error in a settings file. */
 export interface SettingsProblem {
   /** Path of the field such as `customers[0].keyHash`; empty for the file as a whole. */
   readonly path: string;
@@ -32,6 +32,6 @@
   readonly line: number;
   /** Column from 1. */
   readonly column: number;
-  /** What was expected there. */
+  /** Description of what was expected at this position. */
   readonly expected: string;
 }
