--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -1,15 +1,15 @@
-import { EVENTS_PER_TURN, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
+import { MAX_EVENTS_PER_BATCH, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
 import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
 import { assertNever } from '../assertNever.js';
 import type { Millis } from '../clock.js';
 
 /**
- * Tells whether an event of a class still fits into the queue.
+ * Decides whether the queue admits an event of a class.
  *
- * @param queueClass - importance of the event
- * @param depth - events that wait now
- * @param capacity - bound of the queue
- * @returns `queued` when the event is kept
+ * @param queueClass - class of the event
+ * @param depth - number of events in the queue
+ * @param capacity - capacity of the queue in events
+ * @returns `queued` when the event is admitted
  */
 export const decideAdmission = (
   queueClass: QueueClass,
@@ -30,9 +30,9 @@
 };
 
 /**
- * Creates the loop of a daemon. It sleeps until an event or a timer arrives.
+ * Creates the event loop of a daemon. It is idle until an event is posted or a timer fires.
  *
- * @param options - bound, classification and handler
+ * @param options - queue capacity, classification and handlers
  * @returns the running loop
  */
 export const createLoop = <Event>(options: LoopOptions<Event>): Loop<Event> => {
@@ -43,8 +43,8 @@
 
   const getDepth = (): number => queue.length - head;
 
-  const drainTurn = (): void => {
-    for (let handled = 0; handled < EVENTS_PER_TURN && getDepth() > 0; handled += 1) {
+  const handleBatch = (): void => {
+    for (let handled = 0; handled < MAX_EVENTS_PER_BATCH && getDepth() > 0; handled += 1) {
       const event = queue[head] as Event;
       head += 1;
       try {
@@ -60,11 +60,11 @@
       state = 'idle';
       return;
     }
-    if (head > EVENTS_PER_TURN * 4) {
+    if (head > MAX_EVENTS_PER_BATCH * 4) {
       queue = queue.slice(head);
       head = 0;
     }
-    setImmediate(drainTurn);
+    setImmediate(handleBatch);
   };
 
   const post = (event: Event): PostResult => {
@@ -74,7 +74,7 @@
     queue.push(event);
     if (state === 'idle') {
       state = 'scheduled';
-      queueMicrotask(drainTurn);
+      queueMicrotask(handleBatch);
     }
     return result;
   };
--- a/packages/core/metrics/deferredMetrics.ts
+++ b/packages/core/metrics/deferredMetrics.ts
@@ -1,35 +1,35 @@
 import type { Metrics } from './metrics.js';
 import type { Millis } from '../clock.js';
 
-/** Metrics whose libraries are loaded after the start of a daemon. */
+/** Metrics whose libraries are loaded after a daemon has started. */
 export interface DeferredMetrics {
   readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
   readonly recordLatency: (name: string, className: string, duration: Millis) => void;
   readonly renderText: () => Promise<string>;
-  /** Loads the libraries now. */
+  /** Loads the libraries and applies the pending records. */
   readonly load: () => Promise<void>;
 }
 
-/** Records kept until the libraries are loaded; more are left out. */
-const MAX_PENDING = 10_000;
+/** Largest number of records buffered until the libraries are loaded; further ones are dropped. */
+const MAX_PENDING_RECORDS = 10_000;
 
 /**
- * Creates metrics that keep their records until the libraries behind them are loaded, so that a
- * restarted daemon serves before it spends processor time on them.
+ * Creates metrics that buffer their records until the metrics libraries are loaded, so that a
+ * restarted daemon serves requests before it spends CPU time on loading them.
  *
- * @returns the metrics
+ * @returns empty metrics
  */
 export const createDeferredMetrics = (): DeferredMetrics => {
   let loaded: Metrics | null = null;
   let loading: Promise<Metrics> | null = null;
   const pending: ((metrics: Metrics) => void)[] = [];
 
-  const record = (apply: (metrics: Metrics) => void): void => {
+  const applyWhenLoaded = (apply: (metrics: Metrics) => void): void => {
     if (loaded !== null) apply(loaded);
-    else if (pending.length < MAX_PENDING) pending.push(apply);
+    else if (pending.length < MAX_PENDING_RECORDS) pending.push(apply);
   };
 
-  const open = async (): Promise<Metrics> => {
+  const loadMetrics = async (): Promise<Metrics> => {
     const { createMetrics } = await import('./metrics.js');
     const metrics = createMetrics();
     for (const apply of pending.splice(0)) apply(metrics);
@@ -37,22 +37,22 @@
     return metrics;
   };
 
-  const getMetrics = (): Promise<Metrics> => (loading ??= open());
+  const getOrLoadMetrics = (): Promise<Metrics> => (loading ??= loadMetrics());
 
   return {
     addCount: (name, labels) => {
-      record((metrics) => {
+      applyWhenLoaded((metrics) => {
         metrics.addCount(name, labels);
       });
     },
     recordLatency: (name, className, duration) => {
-      record((metrics) => {
+      applyWhenLoaded((metrics) => {
         metrics.recordLatency(name, className, duration);
       });
     },
-    renderText: async () => (await getMetrics()).renderText(),
+    renderText: async () => (await getOrLoadMetrics()).renderText(),
     load: async () => {
-      await getMetrics();
+      await getOrLoadMetrics();
     },
   };
 };
--- a/packages/core/recordFormat.ts
+++ b/packages/core/recordFormat.ts
@@ -5,16 +5,21 @@
   typeof json === 'object' && json !== null && 'format' in json ? json.format : undefined;
 
 /**
- * Checks the format number of a log record before its other fields, whose meaning depends on it.
+ * Checks the format number of a log record. Call it before reading other fields, because their
+ * meaning depends on the format.
  *
- * @param json - decoded JSON of a record
- * @param known - format that this version reads
- * @param what - name of the record in the message
- * @returns a failure with code `unsupported-format`, or null for a known or absent format
+ * @param json - parsed JSON of the record
+ * @param supported - format number that this version supports
+ * @param recordName - name of the record in the failure message
+ * @returns a failure with code `unsupported-format`, or null for a supported or absent format
  */
-export const checkRecordFormat = (json: unknown, known: number, what: string): Failure | null => {
+export const checkRecordFormat = (
+  json: unknown,
+  supported: number,
+  recordName: string,
+): Failure | null => {
   const format = readFormat(json);
-  if (typeof format !== 'number' || format === known) return null;
-  const text = `${what}: field "format": format ${format.toString()} is unknown; this process reads ${known.toString()}`;
-  return createFailure('not-run', 'unsupported-format', text);
+  if (typeof format !== 'number' || format === supported) return null;
+  const message = `${recordName}: field "format": format ${format.toString()} is unknown; this process reads ${supported.toString()}`;
+  return createFailure('not-run', 'unsupported-format', message);
 };
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -7,23 +7,23 @@
   readonly classify: (event: Event) => QueueClass;
   /** Starts the root supervisor. */
   readonly startRoot: () => RunningChild<Event, Effect>;
-  /** Carries out one effect and posts its completion to the loop later. */
+  /** Performs one effect and posts its completion to the loop later. */
   readonly perform: (effect: Effect) => void;
-  /** Receives a fault that the root supervisor could not handle; the process ends after it. */
+  /** Receives an error that the root supervisor could not handle; the process exits after it. */
   readonly onFault: (error: unknown) => void;
   readonly capacity?: number;
 }
 
 export interface Daemon<Event> {
   readonly loop: Loop<Event>;
-  /** Starts the tree; its first effects are carried out before this returns. */
+  /** Starts the supervisor tree and performs its initial effects before it returns. */
   readonly start: () => void;
-  /** Stops the children in reverse start order and ends the loop. */
+  /** Stops the children in reverse start order, performs their last effects and stops the loop. */
   readonly stop: () => void;
 }
 
 /**
- * Puts one loop, one supervisor tree and the adapters together.
+ * Assembles a daemon from one loop, one supervisor tree and the adapters.
  *
  * @param options - root supervisor, adapters and fault handler
  * @returns the daemon, not yet started
@@ -32,14 +32,14 @@
   options: DaemonOptions<Event, Effect>,
 ): Daemon<Event> => {
   let root: RunningChild<Event, Effect> | undefined;
-  const performAll = (effects: readonly Effect[]): void => {
+  const performEffects = (effects: readonly Effect[]): void => {
     for (const effect of effects) options.perform(effect);
   };
   const loop = createLoop<Event>({
     capacity: options.capacity ?? DEFAULT_QUEUE_CAPACITY,
     classify: options.classify,
     handle: (event) => {
-      if (root !== undefined) performAll(root.handle(event));
+      if (root !== undefined) performEffects(root.handle(event));
     },
     onFault: options.onFault,
   });
@@ -47,10 +47,10 @@
     loop,
     start: () => {
       root = options.startRoot();
-      performAll(root.started);
+      performEffects(root.started);
     },
     stop: () => {
-      if (root !== undefined) performAll(root.stop());
+      if (root !== undefined) performEffects(root.stop());
       root = undefined;
       loop.stop();
     },
--- a/packages/core/supervision/supervisor.ts
+++ b/packages/core/supervision/supervisor.ts
@@ -4,20 +4,20 @@
 import { assertNever } from '../assertNever.js';
 import type { Clock } from '../clock.js';
 
-/** Raised by a supervisor whose children fail more often than its intensity allows. */
+/** Thrown by a supervisor whose children fail more often than its restart intensity allows. */
 export class SupervisorEscalation extends Error {
   constructor(
     readonly supervisor: string,
     override readonly cause: unknown,
   ) {
-    super(`supervisor ${supervisor} gave up: its children failed too often`);
+    super(`supervisor ${supervisor} exceeded its restart intensity`);
   }
 }
 
 /**
- * Starts a child from its decisions. The child is the only owner of its state.
+ * Starts a child from its decision logic. The child is the sole owner of its state.
  *
- * @param logic - first state and decision function
+ * @param logic - initial state and decision function
  * @param publish - receives each new state, for the read-only views of other children
  * @returns the running child
  */
@@ -25,11 +25,11 @@
   logic: ChildLogic<State, Event, Effect>,
   publish: (state: State) => void,
 ): RunningChild<Event, Effect> => {
-  const first = logic.init();
-  let state = first.state;
+  const initial = logic.init();
+  let state = initial.state;
   publish(state);
   return {
-    started: first.effects,
+    started: initial.effects,
     handle: (event) => {
       const step = logic.decide(state, event);
       state = step.state;
@@ -43,8 +43,8 @@
 /**
  * Starts a supervisor with its children. A supervisor is a child itself, so supervisors nest.
  *
- * @param spec - children, strategy and intensity
- * @param clock - time of restarts
+ * @param spec - children, restart strategy and restart intensity
+ * @param clock - clock that dates restarts
  * @param onFailure - receives each failure of a child, for the event log
  * @returns the running supervisor
  * @throws SupervisorEscalation from `handle` when the restart intensity is exceeded
@@ -59,20 +59,20 @@
   const running = new Map<string, RunningChild<Event, Effect>>();
   let history: RestartHistory = [];
 
-  const startNamed = (name: string): readonly Effect[] => {
+  const startChildByName = (name: string): readonly Effect[] => {
     const child = specs.get(name) as ChildSpec<Event, Effect>;
     const started = child.start();
     running.set(name, started);
     return started.started;
   };
 
-  const stopNamed = (name: string): readonly Effect[] => {
+  const stopChildByName = (name: string): readonly Effect[] => {
     const child = running.get(name);
     running.delete(name);
     return child?.stop() ?? [];
   };
 
-  const restartAfter = (failed: ChildSpec<Event, Effect>, error: unknown): readonly Effect[] => {
+  const handleFailure = (failed: ChildSpec<Event, Effect>, error: unknown): readonly Effect[] => {
     onFailure({
       supervisor: spec.name,
       child: failed.name,
@@ -97,8 +97,8 @@
         throw new SupervisorEscalation(spec.name, error);
       case 'restart': {
         const affected = outcome.decision.children;
-        const stopping = [...affected].reverse().flatMap(stopNamed);
-        return [...stopping, ...affected.flatMap(startNamed)];
+        const stopEffects = [...affected].reverse().flatMap(stopChildByName);
+        return [...stopEffects, ...affected.flatMap(startChildByName)];
       }
       default:
         return assertNever(outcome.decision);
@@ -112,13 +112,13 @@
     try {
       return child.handle(event);
     } catch (error) {
-      return restartAfter(specs.get(name) as ChildSpec<Event, Effect>, error);
+      return handleFailure(specs.get(name) as ChildSpec<Event, Effect>, error);
     }
   };
 
   return {
-    started: names.flatMap(startNamed),
+    started: names.flatMap(startChildByName),
     handle,
-    stop: () => [...names].reverse().flatMap(stopNamed),
+    stop: () => [...names].reverse().flatMap(stopChildByName),
   };
 };
--- a/packages/settings/duplicates.ts
+++ b/packages/settings/duplicates.ts
@@ -1,16 +1,16 @@
 import type { z } from 'zod';
 
 /**
- * Reports each item whose key field repeats that of an earlier item.
+ * Adds an issue for each item whose key field has the same value as that of an earlier item.
  *
  * @param items - items of one list
- * @param list - field that holds the list
- * @param key - field that must be unique in the list
- * @param context - receives the problems
+ * @param listName - name of the field that holds the list
+ * @param key - field whose value must be unique in the list
+ * @param context - refinement context that receives the issues
  */
-export const addDuplicateProblems = <Key extends string>(
+export const addDuplicateIssues = <Key extends string>(
   items: readonly Readonly<Record<Key, string>>[],
-  list: string,
+  listName: string,
   key: Key,
   context: z.RefinementCtx,
 ): void => {
@@ -19,8 +19,8 @@
     if (seen.has(item[key])) {
       context.addIssue({
         code: 'custom',
-        path: [list, index, key],
-        message: `expected a ${key} that no earlier item of ${list} has`,
+        path: [listName, index, key],
+        message: `expected a unique ${key}, but an earlier item of ${listName} has the same one`,
       });
     }
     seen.add(item[key]);
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -9,9 +9,9 @@
 import type { SettingsByKind, SettingsKind, SettingsProblem } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-type Problems = readonly SettingsProblem[];
+type SettingsProblems = readonly SettingsProblem[];
 
-const parseWith = (kind: SettingsKind, value: unknown) => {
+const validateWithSchema = (kind: SettingsKind, value: unknown) => {
   switch (kind) {
     case 'entry':
       return ENTRY_SCHEMA.safeParse(value);
@@ -22,7 +22,7 @@
   }
 };
 
-const readText = (path: string): Result<string, Problems> => {
+const readText = (path: string): Result<string, SettingsProblems> => {
   try {
     return Ok(readFileSync(path, 'utf8'));
   } catch (error) {
@@ -39,7 +39,7 @@
   readonly value: unknown;
 }
 
-const parseText = (text: string): Result<ParsedText, Problems> => {
+const parseText = (text: string): Result<ParsedText, SettingsProblems> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
   if (errors.length > 0) return Err(describeSyntax(errors, text));
@@ -47,53 +47,54 @@
 };
 
 /**
- * Checks the text of a settings file and fills in its defaults.
+ * Validates the text of a settings file and fills in defaults.
  *
  * @param text - JSON with comments
- * @param kind - daemon that the file is for
- * @returns the settings, or every problem with its place
+ * @param kind - kind of daemon that the file is for
+ * @returns the settings, or every problem with its position
  */
 export const parseSettings = <Kind extends SettingsKind>(
   text: string,
   kind: Kind,
-): Result<SettingsByKind[Kind], Problems> =>
+): Result<SettingsByKind[Kind], SettingsProblems> =>
   parseText(text).andThen(({ root, value }) => {
-    const parsed = parseWith(kind, value);
+    const parsed = validateWithSchema(kind, value);
     if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
     return Ok(parsed.data as SettingsByKind[Kind]);
   });
 
 /**
- * Reads a file of JSON with comments that no schema of this package describes.
+ * Reads a file of JSON with comments without validating it against a schema.
  *
- * @param path - file
- * @returns the value, or the faults of the file's syntax
+ * @param path - path of the file
+ * @returns the value, or the problems of a file that cannot be read or parsed
  */
-export const loadJson = (path: string): Result<unknown, Problems> =>
+export const loadJson = (path: string): Result<unknown, SettingsProblems> =>
   readText(path)
     .andThen(parseText)
     .map(({ value }) => value);
 
 /**
- * Reads and checks a settings file. Nothing else happens: no address is opened.
+ * Reads and validates a settings file. It has no other effect: no address is opened.
  *
- * @param path - file of JSON with comments
- * @param kind - daemon that the file is for
+ * @param path - path of a file of JSON with comments
+ * @param kind - kind of daemon that the file is for
  * @returns the settings with all defaults, or every problem with field path, line and column
  */
 export const loadSettings = <Kind extends SettingsKind>(
   path: string,
   kind: Kind,
-): Result<SettingsByKind[Kind], Problems> =>
+): Result<SettingsByKind[Kind], SettingsProblems> =>
   readText(path).andThen((text) => parseSettings(text, kind));
 
 /**
- * Finds out for which daemon a settings file is written.
+ * Determines the kind of daemon that a settings file is for.
  *
- * @param path - file of JSON with comments
- * @returns the kind, or the problem of a file that cannot be read or names neither daemon
+ * @param path - path of a file of JSON with comments
+ * @returns the kind, or the problems of a file that cannot be read or parsed, or that fits neither
+ *   daemon
  */
-export const findSettingsKind = (path: string): Result<SettingsKind, Problems> =>
+export const findSettingsKind = (path: string): Result<SettingsKind, SettingsProblems> =>
   loadJson(path).andThen((value) => {
     if (typeof value === 'object' && value !== null) {
       if ('target' in value || 'endpoint' in value) return Ok('endpoint');
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -4,30 +4,30 @@
 import { connectNodeAdapter, Http2SessionManager } from '@connectrpc/connect-node';
 import {
   CLOSE_GRACE_MS,
-  LINK_PING_INTERVAL_MS,
-  LINK_PING_TIMEOUT_MS,
-  MAX_CONCURRENT_STREAMS,
+  CONNECTION_PING_INTERVAL_MS,
+  CONNECTION_PING_TIMEOUT_MS,
+  MAX_CONCURRENT_STREAMS_PER_CONNECTION,
   MAX_MESSAGE_BYTES,
 } from './constants.js';
 
-/** Listening side of the messages between our processes. */
+/** Server side of the calls between the daemons. */
 export interface RpcListener {
-  /** Starts to listen and returns the base URL. */
+  /** Starts listening and resolves to the base URL. */
   readonly listen: (host: string, port: number) => Promise<string>;
-  /** Accepts no more calls and ends when the running ones have ended. */
+  /** Accepts no new calls; resolves once running ones end or the grace period is over. */
   readonly close: () => Promise<void>;
 }
 
 /**
- * Creates a listener for calls between our processes, over HTTP/2 without TLS.
+ * Creates a listener for calls between the daemons, over HTTP/2 without TLS.
  *
- * @param routes - services that it offers
+ * @param routes - registers the services that it offers
  * @returns the listener, not yet listening
  */
 export const createRpcListener = (routes: (router: ConnectRouter) => void): RpcListener => {
   const sessions = new Set<Http2Session>();
   const server = createServer(
-    { settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS } },
+    { settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS_PER_CONNECTION } },
     connectNodeAdapter({
       routes,
       readMaxBytes: MAX_MESSAGE_BYTES,
@@ -54,7 +54,7 @@
           resolve();
         });
         for (const session of sessions) session.close();
-        // A peer that never ends a stream would keep the process from its exit.
+        // A peer that never ends a stream would otherwise prevent the process from exiting.
         setTimeout(() => {
           for (const session of sessions) session.destroy();
         }, CLOSE_GRACE_MS).unref();
@@ -63,13 +63,14 @@
 };
 
 /**
- * Creates the connection to a peer. Pings find a frozen link that TCP would keep for minutes.
+ * Creates the HTTP/2 session to a peer. Pings detect an unresponsive connection that TCP would keep
+ * open for minutes.
  *
  * @param url - base URL of the peer
  * @returns the session manager
  */
 export const createPeerSession = (url: string): Http2SessionManager =>
   new Http2SessionManager(url, {
-    pingIntervalMs: LINK_PING_INTERVAL_MS,
-    pingTimeoutMs: LINK_PING_TIMEOUT_MS,
+    pingIntervalMs: CONNECTION_PING_INTERVAL_MS,
+    pingTimeoutMs: CONNECTION_PING_TIMEOUT_MS,
   });
