--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -7,7 +7,7 @@
 import { createId } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
-import { toCallFailure } from '../../wire/failureCodec.js';
+import { encodeCallFailure } from '../../wire/failureCodec.js';
 import {
   CallAnswerSchema,
   CallResponseSchema,
@@ -150,7 +150,7 @@
   };
 
   const sendFailure = (callId: CallId, failure: Failure): void => {
-    push(callId, { case: 'failed', value: toCallFailure(failure) }, 'last');
+    push(callId, { case: 'failed', value: encodeCallFailure(failure) }, 'last');
   };
 
   const replyCall = (callId: CallId, result: CallResponse['result']): void => {
@@ -160,7 +160,7 @@
   };
 
   const replyFailure = (callId: CallId, failure: Failure): void => {
-    replyCall(callId, { case: 'failure', value: toCallFailure(failure) });
+    replyCall(callId, { case: 'failure', value: encodeCallFailure(failure) });
   };
 
   const registerRoutes = (router: ConnectRouter): void => {
--- a/packages/load/scenario/loadScenario.ts
+++ b/packages/load/scenario/loadScenario.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { SCENARIO_SCHEMA } from './schema.js';
 import type { Scenario } from './types.js';
-import { describeIssues, describeSyntax } from '../../settings/problems.js';
+import { describeIssues, describeSyntaxErrors } from '../../settings/problems.js';
 import type { SettingsProblem } from '../../settings/types.js';
 
 /**
@@ -17,7 +17,7 @@
 export const parseScenario = (text: string): Result<Scenario, readonly SettingsProblem[]> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
-  if (root === undefined || errors.length > 0) return Err(describeSyntax(errors, text));
+  if (root === undefined || errors.length > 0) return Err(describeSyntaxErrors(errors, text));
   const parsed = SCENARIO_SCHEMA.safeParse(getNodeValue(root));
   if (!parsed.success) return Err(describeIssues(parsed.error.issues, text, root));
   return Ok(parsed.data);
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { ENDPOINT_SCHEMA } from './endpointSchema.js';
 import { ENTRY_SCHEMA } from './entrySchema.js';
-import { describeIssues, describeSyntax } from './problems.js';
+import { describeIssues, describeSyntaxErrors } from './problems.js';
 import type { SettingsByKind, SettingsKind, SettingsProblem } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
@@ -42,7 +42,7 @@
 const parseText = (text: string): Result<ParsedText, SettingsProblems> => {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
-  if (errors.length > 0) return Err(describeSyntax(errors, text));
+  if (errors.length > 0) return Err(describeSyntaxErrors(errors, text));
   return Ok({ text, root, value: root === undefined ? undefined : getNodeValue(root) });
 };
 
--- a/packages/settings/problems.ts
+++ b/packages/settings/problems.ts
@@ -94,7 +94,7 @@
  * @param text - text of the file
  * @returns one problem per error
  */
-export const describeSyntax = (
+export const describeSyntaxErrors = (
   errors: readonly ParseError[],
   text: string,
 ): readonly SettingsProblem[] =>
--- a/packages/wire/failureCodec.ts
+++ b/packages/wire/failureCodec.ts
@@ -12,7 +12,7 @@
  * @param failure - failure to send
  * @returns the message
  */
-export const toCallFailure = (failure: Failure): CallFailure =>
+export const encodeCallFailure = (failure: Failure): CallFailure =>
   create(CallFailureSchema, {
     verdict: failure.verdict,
     code: failure.code,
