--- a/packages/decisions/idempotency/atMostOnce.promise.test.ts
+++ b/packages/decisions/idempotency/atMostOnce.promise.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { buildCommandList, runCommands } from './testing/fuzz.js';
 import type { Mechanisms, Statistics } from './testing/types.js';
-import { createWorld } from './testing/world.js';
+import { createSimulation } from './testing/world.js';
 
 // A longer run: FUZZ_SEED=7 FUZZ_RUNS=100000 npx ava <this file> --timeout=1h
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_261_204);
@@ -18,12 +18,12 @@
   // Guards against a request that runs twice, a not-run that ran, and a ran that did not, under
   // outages, lost answers, late appends, pauses, restarts and retention.
   test(`a key runs at most once and every verdict is true (${profile})`, (t) => {
-    const sum = createWorld(KEPT).statistics;
+    const sum = createSimulation(KEPT).statistics;
     fc.assert(
       fc.property(buildCommandList(profile), (commands) => {
-        const world = runCommands(commands, KEPT);
-        addStatistics(sum, world.statistics);
-        if (world.violations.length > 0) throw new Error(world.violations.join('; '));
+        const simulation = runCommands(commands, KEPT);
+        addStatistics(sum, simulation.statistics);
+        if (simulation.violations.length > 0) throw new Error(simulation.violations.join('; '));
       }),
       { seed: SEED, numRuns: RUNS },
     );
--- a/packages/decisions/idempotency/carryForward.ts
+++ b/packages/decisions/idempotency/carryForward.ts
@@ -16,13 +16,17 @@
 }
 
 const isDue = (chain: TableChain, table: IntentTable, info: RetentionInfo): boolean => {
-  if (info.now - chain.coverAt >= info.carryAfterMs) return true;
+  if (info.now - chain.oldestNeededAt >= info.carryAfterMs) return true;
   // A log that drops by count has no age to compare: the older half of what it holds is due.
   const middle = info.firstOffset + (table.nextOffset - info.firstOffset) / 2;
-  return info.firstOffset > 0 && chain.coverOffset < middle;
+  return info.firstOffset > 0 && chain.oldestNeededOffset < middle;
 };
 
-const toCarried = (state: ChainState, asOf: Offset, now: Millis): CarryForwardRecord => ({
+const toCarryForwardRecord = (
+  state: ChainState,
+  asOf: Offset,
+  now: Millis,
+): CarryForwardRecord => ({
   kind: 'carry-forward',
   format: INTENT_FORMAT,
   customer: state.customer,
@@ -53,7 +57,7 @@
     // The chains are in the order in which they become due.
     if (records.length >= info.maxRecords || !isDue(chain, table, info)) break;
     if (isKeyExpired(chain.state.issuedAt, info.now, table.settings)) continue;
-    records.push(toCarried(chain.state, table.nextOffset, info.now));
+    records.push(toCarryForwardRecord(chain.state, table.nextOffset, info.now));
   }
   return records;
 };
--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -11,7 +11,7 @@
 export const CLOCK_MARGIN_MS: Millis = 5 * 60_000;
 
 /** Names of customers, endpoints and daemons of which one copy is kept for all chains. */
-export const MAX_SHARED_TEXTS = 10_000;
+export const MAX_POOLED_STRINGS = 10_000;
 
 /** Early abandoned nonces remembered per key; a forgotten one only costs a fence. */
 export const MAX_EARLY_ABANDONED = 8;
@@ -23,16 +23,16 @@
 export const EXPIRY_SWEEP_MS: Millis = 5 * 60_000;
 
 /** Chains that one round carries forward, at least. */
-export const MIN_CARRIED = 64;
+export const MIN_CARRIED_CHAINS = 64;
 
 /**
  * Time within which every chain is carried forward once it is due. With the age at which it is due
  * it must lie below the log's retention time, or a key would be forgotten and could run again.
  */
-export const CARRY_ROUND_MS: Millis = 30 * 60_000;
+export const CARRY_FORWARD_CYCLE_MS: Millis = 30 * 60_000;
 
 /** Share of starts that fences may exceed the bound of the nonce table by, so that keys can be settled when it is full. */
-export const FENCE_HEADROOM = 1.25;
+export const FENCE_HEADROOM_FACTOR = 1.25;
 
 export const DEFAULT_KEY_SETTINGS: KeySettings = {
   keyWindowMs: 24 * 3_600_000,
--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -19,7 +19,7 @@
 const resumeChain = (state: Fencing, view: IntentView): IntentStep =>
   state.purpose === 'replay'
     ? replyFromChain(state, view)
-    : resolveChain({ ...state, dead: [...state.dead, state.place.nonce] }, view);
+    : resolveChain({ ...state, unstartable: [...state.unstartable, state.place.nonce] }, view);
 
 const replyFinished = (
   state: Fencing,
@@ -37,12 +37,12 @@
   return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
 };
 
-const toUnresolved = (
+const createUnresolvedFailure = (
   purpose: FencePurpose,
-  own: FailureCode,
-  other: FailureCode,
+  ownCode: FailureCode,
+  otherCode: FailureCode,
   message: string,
-): Failure => createFailure('may-have-run', purpose === 'take-over' ? other : own, message);
+): Failure => createFailure('may-have-run', purpose === 'take-over' ? otherCode : ownCode, message);
 
 const schedulePoll = (state: Fencing, view: IntentView, failure: Failure): IntentStep => {
   if (view.now < state.request.deadlineAt) return schedule(state, 'poll', view.limits.pollMs);
@@ -52,7 +52,12 @@
 const handleStarted = (state: Fencing, view: IntentView): IntentStep => {
   if (state.purpose === 'replay') return replyFromChain(state, view);
   const message = 'the request is still running';
-  const failure = toUnresolved(state.purpose, 'deadline-exceeded', 'key-in-flight', message);
+  const failure = createUnresolvedFailure(
+    state.purpose,
+    'deadline-exceeded',
+    'key-in-flight',
+    message,
+  );
   return schedulePoll(state, view, failure);
 };
 
@@ -66,7 +71,12 @@
     case 'own-unknown':
     case 'take-over': {
       const message = 'the endpoint that could have run the request is gone';
-      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      const failure = createUnresolvedFailure(
+        state.purpose,
+        'endpoint-lost',
+        'key-unresolved',
+        message,
+      );
       const outcome = { verdict: 'may-have-run', status: null, bodyDigest: null } as const;
       const effect = { kind: 'fail', failure } as const;
       return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
@@ -85,7 +95,12 @@
     case 'own-unknown':
     case 'take-over': {
       const message = 'the endpoint that could have run the request does not answer';
-      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      const failure = createUnresolvedFailure(
+        state.purpose,
+        'endpoint-lost',
+        'key-unresolved',
+        message,
+      );
       return schedulePoll(state, view, failure);
     }
     default:
--- a/packages/decisions/idempotency/groupCommit.ts
+++ b/packages/decisions/idempotency/groupCommit.ts
@@ -23,7 +23,7 @@
   readonly wakeAt: Millis | null;
 }
 
-interface Cut<Payload> {
+interface BatchSplit<Payload> {
   readonly batches: readonly (readonly PendingAppend<Payload>[])[];
   readonly open: readonly PendingAppend<Payload>[];
 }
@@ -31,7 +31,7 @@
 const buildBatches = <Payload>(
   pending: readonly PendingAppend<Payload>[],
   limits: GroupCommitLimits,
-): Cut<Payload> => {
+): BatchSplit<Payload> => {
   const batches: PendingAppend<Payload>[][] = [];
   let open: PendingAppend<Payload>[] = [];
   let openBytes = 0;
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -33,7 +33,7 @@
 export const createIntentState = (request: IntentRequest): IntentState => ({
   kind: 'checking',
   request,
-  dead: [],
+  unstartable: [],
   refusedBy: [],
   intents: 0,
   round: 0,
@@ -65,7 +65,7 @@
   // The chain has moved on and never returns to an earlier nonce, so the own intent is void even
   // when it lands later.
   if ((link?.nonce ?? null) !== previous) {
-    return resolveChain({ ...state, dead: [...state.dead, place.nonce] }, view);
+    return resolveChain({ ...state, unstartable: [...state.unstartable, place.nonce] }, view);
   }
   if (append.kind === 'appended' && view.nextOffset > append.offset) {
     const failure = createFailure('not-run', 'key-expired', 'the log did not accept the key');
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -1,5 +1,5 @@
 import { INTENT_FORMAT } from './constants.js';
-import { checkChain } from './keys.js';
+import { checkKeyBinding } from './keys.js';
 import type {
   AbandonedRecord,
   ChainLink,
@@ -31,16 +31,23 @@
 type Base = Omit<StateOf<'finished'>, 'kind'>;
 
 /** Keeps what every phase has. */
-const toBase = ({ request, dead, refusedBy, intents, round, lastFailure }: IntentState): Base => ({
+const toBase = ({
   request,
-  dead,
+  unstartable,
+  refusedBy,
+  intents,
+  round,
+  lastFailure,
+}: IntentState): Base => ({
+  request,
+  unstartable,
   refusedBy,
   intents,
   round,
   lastFailure,
 });
 
-const toRecordOfKey = (state: IntentState, view: IntentView) => ({
+const buildKeyRecordBase = (state: IntentState, view: IntentView) => ({
   format: INTENT_FORMAT,
   customer: state.request.customer,
   key: state.request.key,
@@ -48,18 +55,22 @@
   at: view.now,
 });
 
-const toAbandoned = (state: IntentState, nonce: Nonce, view: IntentView): AbandonedRecord => ({
+const toAbandonedRecord = (
+  state: IntentState,
+  nonce: Nonce,
+  view: IntentView,
+): AbandonedRecord => ({
   kind: 'abandoned',
-  ...toRecordOfKey(state, view),
+  ...buildKeyRecordBase(state, view),
   nonce,
 });
 
-const toOutcome = (
+const toOutcomeRecord = (
   state: IntentState,
   nonce: Nonce,
   outcome: Outcome,
   view: IntentView,
-): OutcomeRecord => ({ kind: 'outcome', ...toRecordOfKey(state, view), nonce, ...outcome });
+): OutcomeRecord => ({ kind: 'outcome', ...buildKeyRecordBase(state, view), nonce, ...outcome });
 
 /**
  * Ends a request without more records.
@@ -126,7 +137,7 @@
   effect: IntentEffect,
 ): IntentStep => {
   if (view.chain?.link?.standing.kind === 'closed') return closeRequest(state, effect);
-  return recordInBackground(state, toOutcome(state, nonce, outcome, view), effect);
+  return recordInBackground(state, toOutcomeRecord(state, nonce, outcome, view), effect);
 };
 
 /**
@@ -141,9 +152,9 @@
 export const failNotRun = (state: IntentState, failure: Failure, view: IntentView): IntentStep => {
   const effect: IntentEffect = { kind: 'fail', failure: { ...failure, verdict: 'not-run' } };
   const link = view.chain?.link;
-  const blocked = link?.standing.kind === 'open' && state.dead.includes(link.nonce);
+  const blocked = link?.standing.kind === 'open' && state.unstartable.includes(link.nonce);
   if (!blocked) return closeRequest(state, effect);
-  return recordInBackground(state, toAbandoned(state, link.nonce, view), effect);
+  return recordInBackground(state, toAbandonedRecord(state, link.nonce, view), effect);
 };
 
 /**
@@ -158,7 +169,8 @@
   state: StateOf<'settling'>,
   view: IntentView,
   ...effects: readonly IntentEffect[]
-): IntentStep => recordInBackground(state, toAbandoned(state, state.place.nonce, view), ...effects);
+): IntentStep =>
+  recordInBackground(state, toAbandonedRecord(state, state.place.nonce, view), ...effects);
 
 /**
  * Asks an endpoint daemon to fence a nonce or to tell how far it got.
@@ -225,7 +237,7 @@
     case 'abandoned':
       return true;
     case 'open':
-      return state.dead.includes(link.nonce);
+      return state.unstartable.includes(link.nonce);
     case 'closed':
       return false;
     default:
@@ -272,7 +284,7 @@
  */
 export const resolveChain = (state: IntentState, view: IntentView): IntentStep => {
   const { chain } = view;
-  const check = chain === undefined ? undefined : checkChain(state.request, chain);
+  const check = chain === undefined ? undefined : checkKeyBinding(state.request, chain);
   if (check?.isErr() === true) return closeRequest(state, { kind: 'fail', failure: check.error });
   const link = chain?.link ?? null;
   if (link?.standing.kind === 'closed') return decideClosed(state, link, link.standing);
@@ -305,7 +317,7 @@
   const previous = link?.nonce ?? null;
   const record: IntentRecord = {
     kind: 'intent',
-    ...toRecordOfKey(state, view),
+    ...buildKeyRecordBase(state, view),
     fingerprint: request.fingerprint,
     nonce,
     previous,
--- a/packages/decisions/idempotency/keys.ts
+++ b/packages/decisions/idempotency/keys.ts
@@ -67,7 +67,7 @@
  * @param chain - chain of the request's key
  * @returns `accepted`, or a failure with code `key-conflict`
  */
-export const checkChain = (
+export const checkKeyBinding = (
   request: KeyedRequest,
   chain: ChainState,
 ): Result<'accepted', Failure> => {
@@ -87,7 +87,7 @@
  *
  * @param request - customer, key, fingerprint and time of issue
  * @param chain - the key's chain in the table, if any
- * @param kept - numbers of keys in the table
+ * @param keyCounts - numbers of keys in the table
  * @param now - current instant
  * @param settings - kept window and bound of untimed keys
  * @returns `accepted`, or a failure with code `key-expired`, `key-conflict` or `overloaded`
@@ -95,19 +95,19 @@
 export const checkKey = (
   request: KeyedRequest,
   chain: ChainState | undefined,
-  kept: KeptKeys,
+  keyCounts: KeptKeys,
   now: Millis,
   settings: KeySettings,
 ): Result<'accepted', Failure> => {
   if (request.issuedAt !== null) {
-    const timely = checkIssueTime(request.issuedAt, now, settings);
-    if (timely.isErr()) return timely;
+    const issueTimeCheck = checkIssueTime(request.issuedAt, now, settings);
+    if (issueTimeCheck.isErr()) return issueTimeCheck;
   }
-  if (chain !== undefined) return checkChain(request, chain);
-  if (request.issuedAt === null && kept.untimed >= settings.maxUntimedKeys) {
+  if (chain !== undefined) return checkKeyBinding(request, chain);
+  if (request.issuedAt === null && keyCounts.untimed >= settings.maxUntimedKeys) {
     return refuse('overloaded', 'too many keys without a time of issue are kept');
   }
-  if (request.issuedAt !== null && kept.timed >= settings.maxTimedKeys) {
+  if (request.issuedAt !== null && keyCounts.timed >= settings.maxTimedKeys) {
     return refuse('overloaded', 'too many keys are kept');
   }
   return Ok('accepted');
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -5,10 +5,10 @@
 import type { NonceEvent } from './types.js';
 
 const SETTINGS = { windowMs: 1_000, answerKeepMs: 100, maxAnswerBytes: 10, maxEntries: 4 };
-const world = { sequence: 0 };
+const simulation = { sequence: 0 };
 
 const createTable = () => createNonceTable('i', SETTINGS);
-const createNonce = (at = 0) => createModelId(world, at);
+const createNonce = (at = 0) => createModelId(simulation, at);
 const buildAnswer = (bytes: number) => ({
   status: 200,
   headers: [],
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -1,4 +1,4 @@
-import { FENCE_HEADROOM } from './constants.js';
+import { FENCE_HEADROOM_FACTOR } from './constants.js';
 import { readIdTime } from './keys.js';
 import type {
   FenceResult,
@@ -15,9 +15,9 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
-interface HeldAnswer {
+interface RetainedAnswer {
   readonly answer: StoredAnswer;
-  readonly until: Millis;
+  readonly expiresAt: Millis;
 }
 
 /**
@@ -29,7 +29,7 @@
   readonly settings: NonceSettings;
   readonly entries: Map<Nonce, NonceEntry>;
   /** Held answers in the order in which they finished. */
-  readonly answers: Map<Nonce, HeldAnswer>;
+  readonly answers: Map<Nonce, RetainedAnswer>;
   answerBytes: number;
 }
 
@@ -94,7 +94,7 @@
   return { kind: 'run' };
 };
 
-const describeKnown = (table: NonceTable, nonce: Nonce, entry: NonceEntry): FenceResult => {
+const describeEntry = (table: NonceTable, nonce: Nonce, entry: NonceEntry): FenceResult => {
   switch (entry.kind) {
     case 'fenced':
     case 'started':
@@ -120,12 +120,12 @@
     return reply({ kind: 'unknown-incarnation' });
   }
   const known = table.entries.get(event.nonce);
-  if (known !== undefined) return reply(describeKnown(table, event.nonce, known));
+  if (known !== undefined) return reply(describeEntry(table, event.nonce, known));
   // The entry may have been dropped after the nonce ran, so nothing can be promised.
   if (isTooOld(createdAt, event.now, table.settings)) {
     return reply({ kind: 'unknown-incarnation' });
   }
-  if (table.entries.size >= table.settings.maxEntries * FENCE_HEADROOM) {
+  if (table.entries.size >= table.settings.maxEntries * FENCE_HEADROOM_FACTOR) {
     return refuse(createFailure('may-have-run', 'overloaded', 'the table of nonces is full'));
   }
   table.entries.set(event.nonce, { kind: 'fenced', createdAt });
@@ -133,13 +133,13 @@
 };
 
 const removeAnswer = (table: NonceTable, nonce: Nonce): void => {
-  const held = table.answers.get(nonce);
-  if (held === undefined) return;
+  const retained = table.answers.get(nonce);
+  if (retained === undefined) return;
   table.answers.delete(nonce);
-  table.answerBytes -= held.answer.body.byteLength;
+  table.answerBytes -= retained.answer.body.byteLength;
 };
 
-const closeNonce = (
+const finishNonce = (
   table: NonceTable,
   event: Extract<NonceEvent, { kind: 'finish' }>,
 ): NonceDecision => {
@@ -148,7 +148,7 @@
   if (entry?.kind !== 'started') return { kind: 'kept' };
   const { status, bodyDigest } = answer;
   table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
-  table.answers.set(nonce, { answer, until: now + table.settings.answerKeepMs });
+  table.answers.set(nonce, { answer, expiresAt: now + table.settings.answerKeepMs });
   table.answerBytes += answer.body.byteLength;
   for (const oldest of table.answers.keys()) {
     if (table.answerBytes <= table.settings.maxAnswerBytes) break;
@@ -157,7 +157,7 @@
   return { kind: 'kept' };
 };
 
-const closeWithoutAnswer = (
+const finishWithoutAnswer = (
   table: NonceTable,
   event: Extract<NonceEvent, { kind: 'finish-without-answer' }>,
 ): NonceDecision => {
@@ -177,8 +177,8 @@
 };
 
 const expireNonces = (table: NonceTable, now: Millis): NonceDecision => {
-  for (const [nonce, held] of table.answers) {
-    if (held.until <= now) removeAnswer(table, nonce);
+  for (const [nonce, retained] of table.answers) {
+    if (retained.expiresAt <= now) removeAnswer(table, nonce);
   }
   for (const [nonce, entry] of table.entries) {
     if (!isTooOld(entry.createdAt, now, table.settings)) continue;
@@ -204,9 +204,9 @@
     case 'fence':
       return fenceNonce(table, event);
     case 'finish':
-      return closeNonce(table, event);
+      return finishNonce(table, event);
     case 'finish-without-answer':
-      return closeWithoutAnswer(table, event);
+      return finishWithoutAnswer(table, event);
     case 'release':
       return releaseNonce(table, event.nonce);
     case 'expire':
--- a/packages/decisions/idempotency/records.ts
+++ b/packages/decisions/idempotency/records.ts
@@ -7,13 +7,13 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
-const text = z.string().min(1);
-const nullableText = text.nullable();
+const nonEmptyString = z.string().min(1);
+const nullableString = nonEmptyString.nullable();
 
-const ofKey = {
+const keyRecordBase = {
   format: z.literal(INTENT_FORMAT),
-  customer: text,
-  key: text,
+  customer: nonEmptyString,
+  key: nonEmptyString,
   issuedAt: z.number().nullable(),
   at: z.number(),
 };
@@ -31,11 +31,11 @@
 ]);
 
 const link = z.object({
-  nonce: text,
-  previous: nullableText,
-  endpoint: text,
-  incarnation: text,
-  entry: text,
+  nonce: nonEmptyString,
+  previous: nullableString,
+  endpoint: nonEmptyString,
+  incarnation: nonEmptyString,
+  entry: nonEmptyString,
   at: z.number(),
   standing,
 });
@@ -43,27 +43,27 @@
 const recordSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('intent'),
-    ...ofKey,
-    fingerprint: text,
-    nonce: text,
-    previous: nullableText,
-    endpoint: text,
-    incarnation: text,
-    entry: text,
+    ...keyRecordBase,
+    fingerprint: nonEmptyString,
+    nonce: nonEmptyString,
+    previous: nullableString,
+    endpoint: nonEmptyString,
+    incarnation: nonEmptyString,
+    entry: nonEmptyString,
   }),
-  z.object({ kind: z.literal('outcome'), ...ofKey, nonce: text, ...outcome }),
-  z.object({ kind: z.literal('abandoned'), ...ofKey, nonce: text }),
+  z.object({ kind: z.literal('outcome'), ...keyRecordBase, nonce: nonEmptyString, ...outcome }),
+  z.object({ kind: z.literal('abandoned'), ...keyRecordBase, nonce: nonEmptyString }),
   z.object({
     kind: z.literal('carry-forward'),
-    ...ofKey,
-    fingerprint: nullableText,
+    ...keyRecordBase,
+    fingerprint: nullableString,
     asOf: z.number().int().nonnegative(),
     link: link.nullable(),
-    abandonedEarly: z.array(text),
+    abandonedEarly: z.array(nonEmptyString),
   }),
 ]);
 
-const RECORD = 'record of the intents stream';
+const RECORD_NAME = 'record of the intents stream';
 
 /**
  * Checks a value of the `intents` stream.
@@ -73,12 +73,12 @@
  *   format of a later version)
  */
 export const parseIntentRecord = (json: unknown): Result<IntentStreamRecord, Failure> => {
-  const unknown = checkRecordFormat(json, INTENT_FORMAT, RECORD);
-  if (unknown !== null) return Err(unknown);
+  const formatFailure = checkRecordFormat(json, INTENT_FORMAT, RECORD_NAME);
+  if (formatFailure !== null) return Err(formatFailure);
   const parsed = recordSchema.safeParse(json);
   if (parsed.success) return Ok(parsed.data);
   const issue = parsed.error.issues[0];
   const field = issue?.path.join('.') ?? '';
-  const message = `${RECORD}: field "${field}": ${issue?.message ?? 'invalid'}`;
+  const message = `${RECORD_NAME}: field "${field}": ${issue?.message ?? 'invalid'}`;
   return Err(createFailure('not-run', 'bad-request', message));
 };
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -131,7 +131,7 @@
           foldFrom(full, 0, log);
           const [chain] = full.chains.values();
           // Retention may drop everything that the chain does not need.
-          const firstOffset = Math.max(0, (chain?.coverOffset ?? log.length) - late);
+          const firstOffset = Math.max(0, (chain?.oldestNeededOffset ?? log.length) - late);
           const fresh = createIntentTable(SETTINGS);
           foldFrom(fresh, firstOffset, log);
           const links = [full, fresh].map((table) => findChain(table, 'c', 'k')?.link ?? null);
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -1,5 +1,5 @@
-import { takeSharedTexts } from './sharedTexts.js';
-import type { SharedTexts } from './sharedTexts.js';
+import { applyStringPool } from './sharedTexts.js';
+import type { StringPool } from './sharedTexts.js';
 import { createChainState, foldChain, toChainState } from './chain.js';
 import { MIN_EXPIRY_VISITS } from './constants.js';
 import { isKeyExpired } from './keys.js';
@@ -16,7 +16,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { CustomerId, Offset } from '../../core/ids.js';
 
-interface Placed {
+interface LoggedRecord {
   readonly offset: Offset;
   readonly record: ChainRecord;
 }
@@ -28,13 +28,13 @@
   base: ChainState | undefined;
   baseAsOf: Offset;
   /** Records from `baseAsOf` on, kept only while the table catches up. */
-  recent: Placed[];
+  recordsSinceBase: LoggedRecord[];
   /** Offset of the last record that changed the chain. */
   lastOffset: Offset;
   /** The chain can be rebuilt from the records at this offset and above. */
-  coverOffset: Offset;
+  oldestNeededOffset: Offset;
   /** Writer's time of the record at `coverOffset`. */
-  coverAt: Millis;
+  oldestNeededAt: Millis;
 }
 
 /**
@@ -47,7 +47,7 @@
   readonly chains: Map<string, TableChain>;
   /** Where the search for expired chains goes on. */
   sweep: Iterator<TableChain> | null;
-  readonly texts: SharedTexts;
+  readonly texts: StringPool;
   standing: TableStanding;
   nextOffset: Offset;
   untimedKeys: number;
@@ -79,7 +79,7 @@
 });
 
 /** Shared by all chains, because only a table that catches up keeps records. */
-const NO_RECORDS: Placed[] = [];
+const NO_RECORDS: LoggedRecord[] = [];
 
 const toChainId = (customer: CustomerId, key: string): string => `${customer}\u0000${key}`;
 
@@ -118,10 +118,10 @@
     state,
     base: undefined,
     baseAsOf: 0,
-    recent: NO_RECORDS,
+    recordsSinceBase: NO_RECORDS,
     lastOffset: offset,
-    coverOffset: offset,
-    coverAt: at,
+    oldestNeededOffset: offset,
+    oldestNeededAt: at,
   };
   table.chains.set(toChainId(state.customer, state.key), chain);
   if (state.issuedAt === null) table.untimedKeys += 1;
@@ -133,24 +133,24 @@
   if (state.issuedAt === null) table.untimedKeys -= 1;
 };
 
-const foldPlain = (table: IntentTable, offset: Offset, record: ChainRecord): FoldResult => {
+const foldChainRecord = (table: IntentTable, offset: Offset, record: ChainRecord): FoldResult => {
   const known = table.chains.get(toChainId(record.customer, record.key));
   const chain = known ?? addChain(table, createChainState(record), offset, record.at);
   const fold = foldChain(chain.state, record);
   if (fold.state !== chain.state) chain.lastOffset = offset;
   chain.state = fold.state;
   if (table.standing === 'catching-up') {
-    if (chain.recent === NO_RECORDS) chain.recent = [];
-    chain.recent.push({ offset, record });
+    if (chain.recordsSinceBase === NO_RECORDS) chain.recordsSinceBase = [];
+    chain.recordsSinceBase.push({ offset, record });
   }
   return fold.result;
 };
 
-const replayRecords = (base: ChainState, recent: readonly Placed[]): ChainState =>
-  recent.reduce((state, { record }) => foldChain(state, record).state, base);
+const replayRecords = (base: ChainState, records: readonly LoggedRecord[]): ChainState =>
+  records.reduce((state, { record }) => foldChain(state, record).state, base);
 
 /** Puts a carried state under the records that were read without their history. */
-const applyCarried = (
+const applyCarryForward = (
   table: IntentTable,
   chain: TableChain,
   offset: Offset,
@@ -160,16 +160,16 @@
   if (chain.state.issuedAt === null) table.untimedKeys -= 1;
   chain.base = toChainState(record);
   chain.baseAsOf = record.asOf;
-  chain.recent = chain.recent.filter((placed) => placed.offset >= record.asOf);
-  chain.state = replayRecords(chain.base, chain.recent);
+  chain.recordsSinceBase = chain.recordsSinceBase.filter((logged) => logged.offset >= record.asOf);
+  chain.state = replayRecords(chain.base, chain.recordsSinceBase);
   if (chain.state.issuedAt === null) table.untimedKeys += 1;
-  const first = chain.recent[0];
-  chain.lastOffset = chain.recent.at(-1)?.offset ?? record.asOf - 1;
-  chain.coverOffset = first?.offset ?? offset;
-  chain.coverAt = first?.record.at ?? record.at;
+  const first = chain.recordsSinceBase[0];
+  chain.lastOffset = chain.recordsSinceBase.at(-1)?.offset ?? record.asOf - 1;
+  chain.oldestNeededOffset = first?.offset ?? offset;
+  chain.oldestNeededAt = first?.record.at ?? record.at;
 };
 
-const foldCarried = (
+const foldCarryForward = (
   table: IntentTable,
   offset: Offset,
   record: CarryForwardRecord,
@@ -177,10 +177,10 @@
   const known = table.chains.get(toChainId(record.customer, record.key));
   const chain = known ?? addChain(table, toChainState(record), offset, record.at);
   if (table.standing === 'catching-up') {
-    applyCarried(table, chain, offset, record);
+    applyCarryForward(table, chain, offset, record);
   } else if (record.asOf > chain.lastOffset) {
-    chain.coverOffset = offset;
-    chain.coverAt = record.at;
+    chain.oldestNeededOffset = offset;
+    chain.oldestNeededAt = record.at;
     const id = toChainId(record.customer, record.key);
     table.chains.delete(id);
     table.chains.set(id, chain);
@@ -207,10 +207,10 @@
   if (offset < table.nextOffset) return 'ignored';
   table.nextOffset = offset + 1;
   if (isKeyExpired(record.issuedAt, now, table.settings)) return 'expired';
-  const shared = takeSharedTexts(table.texts, record);
+  const shared = applyStringPool(table.texts, record);
   return shared.kind === 'carry-forward'
-    ? foldCarried(table, offset, shared)
-    : foldPlain(table, offset, shared);
+    ? foldCarryForward(table, offset, shared)
+    : foldChainRecord(table, offset, shared);
 };
 
 /** Retention dropped unread records, so states are exact only up to the table's offset. */
@@ -219,7 +219,7 @@
     for (const chain of table.chains.values()) {
       chain.base = chain.state;
       chain.baseAsOf = table.nextOffset;
-      chain.recent = NO_RECORDS;
+      chain.recordsSinceBase = NO_RECORDS;
     }
   }
   table.standing = 'catching-up';
@@ -230,12 +230,12 @@
   if (table.standing === 'exact') return;
   table.standing = 'exact';
   const ordered = [...table.chains].sort(
-    ([, left], [, right]) => left.coverOffset - right.coverOffset,
+    ([, left], [, right]) => left.oldestNeededOffset - right.oldestNeededOffset,
   );
   table.chains.clear();
   for (const [id, chain] of ordered) {
     chain.base = undefined;
-    chain.recent = NO_RECORDS;
+    chain.recordsSinceBase = NO_RECORDS;
     table.chains.set(id, chain);
   }
 };
@@ -265,8 +265,8 @@
 };
 
 /** A chain that holds only early abandoned nonces; without it their intents cost a fence. */
-const isForgotten = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
-  chain.state.link === null && now > chain.coverAt + settings.keyWindowMs;
+const isExpiredEmptyChain = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
+  chain.state.link === null && now > chain.oldestNeededAt + settings.keyWindowMs;
 
 /**
  * Drops chains of expired keys. A call visits a bounded number of chains and the next one goes on
@@ -292,7 +292,10 @@
       return dropped;
     }
     const chain = next.value;
-    if (isKeyExpired(chain.state.issuedAt, now, settings) || isForgotten(chain, now, settings)) {
+    if (
+      isKeyExpired(chain.state.issuedAt, now, settings) ||
+      isExpiredEmptyChain(chain, now, settings)
+    ) {
       removeChain(table, chain.state);
       dropped += 1;
     }
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -1,6 +1,6 @@
 import { decideNonce } from '../nonces.js';
 import type { DispatchResult, FenceResult, NoncePlace } from '../types.js';
-import type { EndpointModel, Fault, World } from './types.js';
+import type { EndpointModel, Fault, Simulation } from './types.js';
 import { addTask, recordExecution } from './world.js';
 import { createFailure } from '../../../core/verdict.js';
 
@@ -27,7 +27,7 @@
  * in mid-stream, and the answer may be too large to be stored.
  */
 const runCall = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
@@ -35,7 +35,7 @@
 ): void => {
   const { table } = endpoint;
   const { nonce } = place;
-  addTask(world, (atStart) => {
+  addTask(simulation, (atStart) => {
     if (endpoint.table !== table) {
       reply(LOST);
       return;
@@ -45,17 +45,17 @@
       reply(REFUSED);
       return;
     }
-    recordExecution(world, nonce, key);
+    recordExecution(simulation, nonce, key);
     // The entry daemon acts on its first reply only.
     if (atStart === 'lose-answer') reply(LOST);
-    addTask(world, (fault) => {
+    addTask(simulation, (fault) => {
       const answer = buildAnswer(place);
       const { status, bodyDigest } = answer;
       decideNonce(
         table,
         fault === 'late'
           ? { kind: 'finish-without-answer', nonce, status, bodyDigest }
-          : { kind: 'finish', nonce, answer, now: world.now },
+          : { kind: 'finish', nonce, answer, now: simulation.now },
       );
       const lost = endpoint.table !== table || fault === 'lose-answer';
       reply(lost ? LOST : { kind: 'answered', answer });
@@ -64,7 +64,7 @@
 };
 
 const receiveDispatch = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
@@ -79,10 +79,10 @@
     kind: 'start',
     nonce,
     incarnation,
-    now: world.now,
+    now: simulation.now,
   });
   if (decision.kind === 'run') {
-    runCall(world, endpoint, place, key, reply);
+    runCall(simulation, endpoint, place, key, reply);
     return;
   }
   if (decision.kind !== 'refuse') return;
@@ -94,7 +94,7 @@
 
 /** Sends a dispatch over a network that can lose or delay it and its reply. */
 export const sendDispatch = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
@@ -102,32 +102,36 @@
   reply: (result: DispatchResult) => void,
 ): void => {
   if (fault === 'none') {
-    addTask(world, () => {
-      receiveDispatch(world, endpoint, place, key, reply);
+    addTask(simulation, () => {
+      receiveDispatch(simulation, endpoint, place, key, reply);
     });
     return;
   }
   if (fault !== 'lose-request') {
     // The sender gives up while the message is still on its way.
-    addTask(world, () => {
-      receiveDispatch(world, endpoint, place, key, () => undefined);
+    addTask(simulation, () => {
+      receiveDispatch(simulation, endpoint, place, key, () => undefined);
     });
   }
   reply(LOST);
 };
 
-const fenceModel = (world: World, endpoint: EndpointModel, place: NoncePlace): FenceResult => {
+const fenceModel = (
+  simulation: Simulation,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+): FenceResult => {
   const { nonce, incarnation } = place;
   const { table } = endpoint;
-  const forgets = world.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
-  if (forgets && table.incarnation === incarnation) return { kind: 'fenced' };
-  const decision = decideNonce(table, { kind: 'fence', nonce, incarnation, now: world.now });
+  const isFenceNotStored = simulation.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
+  if (isFenceNotStored && table.incarnation === incarnation) return { kind: 'fenced' };
+  const decision = decideNonce(table, { kind: 'fence', nonce, incarnation, now: simulation.now });
   return decision.kind === 'fence' ? decision.result : { kind: 'unreachable' };
 };
 
 /** Sends a fence over the same network. */
 export const sendFence = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   fault: Fault,
@@ -137,8 +141,8 @@
     reply({ kind: 'unreachable' });
     return;
   }
-  addTask(world, (later) => {
-    const result = fenceModel(world, endpoint, place);
+  addTask(simulation, (later) => {
+    const result = fenceModel(simulation, endpoint, place);
     reply(fault === 'none' && later === 'none' ? result : { kind: 'unreachable' });
   });
 };
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { appendCarried, readEntry, startModelRequest } from './entryModel.js';
+import { appendCarryForward, readEntry, startModelRequest } from './entryModel.js';
 import type {
   Command,
   EndpointModel,
@@ -8,12 +8,12 @@
   LogMode,
   Mechanisms,
   Task,
-  World,
+  Simulation,
 } from './types.js';
 import {
   updateTime,
-  createWorld,
-  addLate,
+  createSimulation,
+  addLateAppend,
   restartEndpoint,
   restartEntry,
   pruneLog,
@@ -113,67 +113,67 @@
   return fc.array(command, { minLength: 40, maxLength: 240, size: 'max' });
 };
 
-const isRunnable = (world: World, task: Task): boolean => {
-  if (task.dueAt > world.now) return false;
-  return task.owner === null || world.entries[task.owner]?.activity === 'running';
+const isRunnable = (simulation: Simulation, task: Task): boolean => {
+  if (task.dueAt > simulation.now) return false;
+  return task.owner === null || simulation.entries[task.owner]?.activity === 'running';
 };
 
-const runTask = (world: World, pick: number, taskFault: Fault): 'ran' | 'idle' => {
-  const stale = ({ owner, life }: Task): boolean =>
-    owner !== null && world.entries[owner]?.life !== life;
-  for (let index = world.tasks.length - 1; index >= 0; index -= 1) {
-    if (stale(world.tasks[index] as Task)) world.tasks.splice(index, 1);
+const runTask = (simulation: Simulation, pick: number, taskFault: Fault): 'ran' | 'idle' => {
+  const stale = ({ owner, epoch }: Task): boolean =>
+    owner !== null && simulation.entries[owner]?.epoch !== epoch;
+  for (let index = simulation.tasks.length - 1; index >= 0; index -= 1) {
+    if (stale(simulation.tasks[index] as Task)) simulation.tasks.splice(index, 1);
   }
-  const runnable = world.tasks.filter((task) => isRunnable(world, task));
+  const runnable = simulation.tasks.filter((task) => isRunnable(simulation, task));
   const task = runnable[pick % Math.max(1, runnable.length)];
   if (task === undefined) return 'idle';
-  world.tasks.splice(world.tasks.indexOf(task), 1);
+  simulation.tasks.splice(simulation.tasks.indexOf(task), 1);
   task.run(taskFault);
   return 'ran';
 };
 
-const applyCommand = (world: World, next: Command): void => {
+const applyCommand = (simulation: Simulation, next: Command): void => {
   switch (next.kind) {
     case 'request':
-      startModelRequest(world, next.entry, next.key, next.content);
+      startModelRequest(simulation, next.entry, next.key, next.content);
       return;
     case 'step':
-      runTask(world, next.pick, next.fault);
+      runTask(simulation, next.pick, next.fault);
       return;
     case 'advance':
-      updateTime(world, next.ms);
+      updateTime(simulation, next.ms);
       return;
     case 'read':
-      readEntry(world, next.entry);
+      readEntry(simulation, next.entry);
       return;
     case 'pause':
-      (world.entries[next.entry] as EntryModel).activity = 'paused';
+      (simulation.entries[next.entry] as EntryModel).activity = 'paused';
       return;
     case 'wake':
-      (world.entries[next.entry] as EntryModel).activity = 'running';
+      (simulation.entries[next.entry] as EntryModel).activity = 'running';
       return;
     case 'restart-entry':
-      restartEntry(world.entries[next.entry] as EntryModel);
+      restartEntry(simulation.entries[next.entry] as EntryModel);
       return;
     case 'restart-endpoint':
-      restartEndpoint(world.endpoints[next.endpoint] as EndpointModel);
+      restartEndpoint(simulation.endpoints[next.endpoint] as EndpointModel);
       return;
     case 'drain-endpoint': {
-      const model = world.endpoints[next.endpoint] as EndpointModel;
+      const model = simulation.endpoints[next.endpoint] as EndpointModel;
       model.accepting = model.accepting === 'accepting' ? 'draining' : 'accepting';
       return;
     }
     case 'log':
-      world.log.mode = next.mode;
+      simulation.log.mode = next.mode;
       return;
     case 'land':
-      addLate(world);
+      addLateAppend(simulation);
       return;
     case 'carry':
-      appendCarried(world, next.entry);
+      appendCarryForward(simulation, next.entry);
       return;
     case 'trim':
-      pruneLog(world);
+      pruneLog(simulation);
       return;
     default:
       assertNever(next);
@@ -181,39 +181,43 @@
 };
 
 /** Ends all faults and runs until every task is done. */
-const settleWorld = (world: World): void => {
-  world.log.mode = 'up';
-  for (const model of world.entries) model.activity = 'running';
-  while (world.log.late.length > 0) addLate(world);
-  for (let round = 0; round < 400 && world.tasks.length > 0; round += 1) {
-    for (let task = 0; task < 2_000 && runTask(world, 0, 'none') === 'ran'; task += 1);
-    world.entries.forEach((_, index) => {
-      readEntry(world, index);
+const drainSimulation = (simulation: Simulation): void => {
+  simulation.log.mode = 'up';
+  for (const model of simulation.entries) model.activity = 'running';
+  while (simulation.log.lateAppends.length > 0) addLateAppend(simulation);
+  for (let round = 0; round < 400 && simulation.tasks.length > 0; round += 1) {
+    for (let task = 0; task < 2_000 && runTask(simulation, 0, 'none') === 'ran'; task += 1);
+    simulation.entries.forEach((_, index) => {
+      readEntry(simulation, index);
     });
-    updateTime(world, 200);
+    updateTime(simulation, 200);
   }
 };
 
-const checkReplies = (world: World): void => {
-  for (const [requestId, reply] of world.replies) {
-    const key = world.keyOfRequest.get(requestId) as string;
-    const runs = world.executionsByKey.get(key) ?? 0;
-    const own = [...world.owners].filter(([, owner]) => owner === requestId);
-    const ownRan = own.some(([nonce]) => world.executedNonces.has(nonce));
-    const told = reply.kind === 'failure' ? reply.verdict : 'ran';
-    if (told === 'not-run' && ownRan)
-      world.violations.push(`${requestId} was told not-run and ran`);
-    if (told === 'ran' && runs !== 1) {
-      world.violations.push(`${requestId} was told ran, and its key ran ${runs.toString()} times`);
+const checkReplies = (simulation: Simulation): void => {
+  for (const [requestId, reply] of simulation.replies) {
+    const key = simulation.keyOfRequest.get(requestId) as string;
+    const runs = simulation.executionsByKey.get(key) ?? 0;
+    const own = [...simulation.owners].filter(([, owner]) => owner === requestId);
+    const ownRan = own.some(([nonce]) => simulation.executedNonces.has(nonce));
+    const reportedVerdict = reply.kind === 'failure' ? reply.verdict : 'ran';
+    if (reportedVerdict === 'not-run' && ownRan)
+      simulation.violations.push(`${requestId} was told not-run and ran`);
+    if (reportedVerdict === 'ran' && runs !== 1) {
+      simulation.violations.push(
+        `${requestId} was told ran, and its key ran ${runs.toString()} times`,
+      );
     }
   }
 };
 
-const checkFinished = (world: World): void => {
-  for (const model of world.entries) {
+const checkFinished = (simulation: Simulation): void => {
+  for (const model of simulation.entries) {
     for (const [requestId, state] of model.requests) {
-      if (state.kind !== 'finished') world.violations.push(`${requestId} is left ${state.kind}`);
-      if (!world.replies.has(requestId)) world.violations.push(`${requestId} got no reply`);
+      if (state.kind !== 'finished')
+        simulation.violations.push(`${requestId} is left ${state.kind}`);
+      if (!simulation.replies.has(requestId))
+        simulation.violations.push(`${requestId} got no reply`);
     }
   }
 };
@@ -223,13 +227,13 @@
  *
  * @param commands - what happens
  * @param mechanisms - which mechanisms are in place
- * @returns the world with the violations that the oracle found
+ * @returns the simulation with the violations that the oracle found
  */
-export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): World => {
-  const world = createWorld(mechanisms);
-  for (const next of commands) applyCommand(world, next);
-  settleWorld(world);
-  checkReplies(world);
-  checkFinished(world);
-  return world;
+export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): Simulation => {
+  const simulation = createSimulation(mechanisms);
+  for (const next of commands) applyCommand(simulation, next);
+  drainSimulation(simulation);
+  checkReplies(simulation);
+  checkFinished(simulation);
+  return simulation;
 };
--- a/packages/decisions/idempotency/testing/types.ts
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -45,7 +45,7 @@
 export interface FakeLog {
   mode: LogMode;
   readonly records: IntentStreamRecord[];
-  readonly late: (readonly IntentStreamRecord[])[];
+  readonly lateAppends: (readonly IntentStreamRecord[])[];
   firstOffset: number;
 }
 
@@ -53,7 +53,7 @@
   readonly id: string;
   readonly skewMs: Millis;
   /** Counts restarts; tasks of an earlier life are dropped. */
-  life: number;
+  epoch: number;
   activity: 'running' | 'paused';
   logSeen: 'up' | 'out';
   table: IntentTable;
@@ -71,7 +71,7 @@
 export interface Task {
   /** Index of the entry daemon that runs the task; null for the network and endpoints. */
   readonly owner: number | null;
-  readonly life: number;
+  readonly epoch: number;
   readonly dueAt: Millis;
   readonly run: (fault: Fault) => void;
 }
@@ -90,7 +90,7 @@
   trimmed: number;
 }
 
-export interface World {
+export interface Simulation {
   readonly mechanisms: Mechanisms;
   now: Millis;
   sequence: number;
--- a/packages/decisions/idempotency/testing/world.ts
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -3,7 +3,7 @@
 import { parseIntentRecord } from '../records.js';
 import { createIntentTable, expireChains, foldIntentBatch, foldIntentRecord } from '../table.js';
 import type { AppendResult, IntentLimits, IntentStreamRecord, Nonce } from '../types.js';
-import type { EndpointModel, EntryModel, Fault, Mechanisms, Task, World } from './types.js';
+import type { EndpointModel, EntryModel, Fault, Mechanisms, Task, Simulation } from './types.js';
 import type { Millis } from '../../../core/clock.js';
 import type { Offset } from '../../../core/ids.js';
 
@@ -26,18 +26,18 @@
   { key: 'untimed', issuedAt: null },
 ] as const;
 
-/** Creates a UUIDv7 from a time and the world's sequence number. */
-export const createModelId = (world: { sequence: number }, at: Millis): string => {
-  world.sequence += 1;
+/** Creates a UUIDv7 from a time and the simulation's sequence number. */
+export const createModelId = (simulation: { sequence: number }, at: Millis): string => {
+  simulation.sequence += 1;
   const time = at.toString(16).padStart(12, '0');
-  const tail = world.sequence.toString(16).padStart(12, '0');
+  const tail = simulation.sequence.toString(16).padStart(12, '0');
   return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
 };
 
 const createEntry = (index: number): EntryModel => ({
   id: `entry-${index.toString()}`,
   skewMs: [0, 20_000, -20_000][index] ?? 0,
-  life: 0,
+  epoch: 0,
   activity: 'running',
   logSeen: 'up',
   table: createIntentTable(KEYS),
@@ -52,11 +52,11 @@
 });
 
 /** Creates three entry daemons, two endpoint daemons and an empty log. */
-export const createWorld = (mechanisms: Mechanisms): World => ({
+export const createSimulation = (mechanisms: Mechanisms): Simulation => ({
   mechanisms,
   now: START,
   sequence: 0,
-  log: { mode: 'up', records: [], late: [], firstOffset: 0 },
+  log: { mode: 'up', records: [], lateAppends: [], firstOffset: 0 },
   observer: createIntentTable(KEYS),
   entries: [0, 1, 2].map(createEntry),
   endpoints: [0, 1].map(createEndpoint),
@@ -71,64 +71,64 @@
 });
 
 /** Adds a task that the network or an endpoint daemon runs. */
-export const addTask = (world: World, run: Task['run']): void => {
-  world.tasks.push({ owner: null, life: 0, dueAt: world.now, run });
+export const addTask = (simulation: Simulation, run: Task['run']): void => {
+  simulation.tasks.push({ owner: null, epoch: 0, dueAt: simulation.now, run });
 };
 
 /** Adds a task that an entry daemon runs unless it is paused or restarted. */
 export const addEntryTask = (
-  world: World,
+  simulation: Simulation,
   owner: number,
   run: Task['run'],
   delayMs: Millis = 0,
 ): void => {
-  const { life } = world.entries[owner] as EntryModel;
-  world.tasks.push({ owner, life, dueAt: world.now + delayMs, run });
+  const { epoch } = simulation.entries[owner] as EntryModel;
+  simulation.tasks.push({ owner, epoch, dueAt: simulation.now + delayMs, run });
 };
 
-const addRecords = (world: World, records: readonly IntentStreamRecord[]): Offset => {
-  const first = world.log.records.length;
+const addRecords = (simulation: Simulation, records: readonly IntentStreamRecord[]): Offset => {
+  const first = simulation.log.records.length;
   for (const record of records) {
     const parsed = parseIntentRecord(JSON.parse(JSON.stringify(record))).unwrap();
-    const offset = world.log.records.push(parsed) - 1;
+    const offset = simulation.log.records.push(parsed) - 1;
     // Time stands still for the observer, so that it never forgets a key.
-    foldIntentRecord(world.observer, offset, parsed, START);
+    foldIntentRecord(simulation.observer, offset, parsed, START);
   }
-  world.observer.standing = 'exact';
+  simulation.observer.standing = 'exact';
   return first;
 };
 
 /** Appends to the fake log with its mode and a fault. */
 export const appendToLog = (
-  world: World,
+  simulation: Simulation,
   records: readonly IntentStreamRecord[],
   fault: Fault,
 ): AppendResult => {
-  const { log } = world;
+  const { log } = simulation;
   if (fault === 'late') {
-    log.late.push(records);
+    log.lateAppends.push(records);
     return { kind: 'unknown', message: 'timeout' };
   }
   if (fault === 'lose-request') return { kind: 'unknown', message: 'timeout' };
   if (log.mode === 'down') return { kind: 'rejected', message: 'connection refused' };
-  const offset = addRecords(world, records);
+  const offset = addRecords(simulation, records);
   const lost = fault === 'lose-answer' || log.mode === 'lose-answers';
   return lost ? { kind: 'unknown', message: 'timeout' } : { kind: 'appended', offset };
 };
 
 /** Lets the oldest late append land. */
-export const addLate = (world: World): void => {
-  const records = world.log.late.shift();
-  if (records !== undefined) addRecords(world, records);
+export const addLateAppend = (simulation: Simulation): void => {
+  const records = simulation.log.lateAppends.shift();
+  if (records !== undefined) addRecords(simulation, records);
 };
 
 /** With carry-forward disabled, daemons do not see what was carried. */
-const isVisible = (world: World, record: IntentStreamRecord): boolean =>
-  world.mechanisms.carryForward === 'kept' || record.kind !== 'carry-forward';
+const isVisible = (simulation: Simulation, record: IntentStreamRecord): boolean =>
+  simulation.mechanisms.carryForward === 'kept' || record.kind !== 'carry-forward';
 
 /** Reads one batch into an entry daemon's table. */
-export const readLog = (world: World, entry: EntryModel): void => {
-  const { log } = world;
+export const readLog = (simulation: Simulation, entry: EntryModel): void => {
+  const { log } = simulation;
   if (log.mode === 'down') {
     entry.logSeen = 'out';
     return;
@@ -139,26 +139,28 @@
   const records = log.records
     .slice(from, to)
     .map((record, index) => ({ offset: from + index, record }))
-    .filter(({ record }) => isVisible(world, record));
+    .filter(({ record }) => isVisible(simulation, record));
   const end = to - from < READ_LIMIT ? 'reached' : 'more';
-  const now = world.now + entry.skewMs;
+  const now = simulation.now + entry.skewMs;
   const { firstOffset } = log;
   foldIntentBatch(entry.table, { firstOffset, nextOffset: to, records, end }, now);
   expireChains(entry.table, now);
 };
 
 /** Drops the records that no live chain needs; the premise that retention waits for carry-forward. */
-export const pruneLog = (world: World): void => {
-  const needed = [...world.observer.chains.values()].map(({ coverOffset }) => coverOffset);
-  const floor = Math.min(world.log.records.length, ...needed);
-  if (floor <= world.log.firstOffset) return;
-  world.log.firstOffset = floor;
-  world.statistics.trimmed += 1;
+export const pruneLog = (simulation: Simulation): void => {
+  const needed = [...simulation.observer.chains.values()].map(
+    ({ oldestNeededOffset }) => oldestNeededOffset,
+  );
+  const floor = Math.min(simulation.log.records.length, ...needed);
+  if (floor <= simulation.log.firstOffset) return;
+  simulation.log.firstOffset = floor;
+  simulation.statistics.trimmed += 1;
 };
 
 /** Restarts an entry daemon with nothing but the log. */
 export const restartEntry = (entry: EntryModel): void => {
-  entry.life += 1;
+  entry.epoch += 1;
   entry.activity = 'running';
   entry.logSeen = 'up';
   entry.table = createIntentTable(KEYS);
@@ -173,16 +175,17 @@
 };
 
 /** Moves the clock and expires entries at the endpoint daemons. */
-export const updateTime = (world: World, ms: Millis): void => {
-  world.now += ms;
-  for (const { table } of world.endpoints) decideNonce(table, { kind: 'expire', now: world.now });
+export const updateTime = (simulation: Simulation, ms: Millis): void => {
+  simulation.now += ms;
+  for (const { table } of simulation.endpoints)
+    decideNonce(table, { kind: 'expire', now: simulation.now });
 };
 
 /** Counts one execution of a nonce and notes a second one of its key. */
-export const recordExecution = (world: World, nonce: Nonce, key: string): void => {
-  const count = (world.executionsByKey.get(key) ?? 0) + 1;
-  world.executionsByKey.set(key, count);
-  world.executedNonces.add(nonce);
-  world.statistics.executions += 1;
-  if (count > 1) world.violations.push(`key ${key} ran ${count.toString()} times`);
+export const recordExecution = (simulation: Simulation, nonce: Nonce, key: string): void => {
+  const count = (simulation.executionsByKey.get(key) ?? 0) + 1;
+  simulation.executionsByKey.set(key, count);
+  simulation.executedNonces.add(nonce);
+  simulation.statistics.executions += 1;
+  if (count > 1) simulation.violations.push(`key ${key} ran ${count.toString()} times`);
 };
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -5,7 +5,7 @@
 /** Identifier of one attempt to run a key: a UUIDv7, so that it carries its time of creation. */
 export type Nonce = string;
 
-interface RecordOfKey {
+interface KeyRecordBase {
   readonly format: 1;
   readonly customer: CustomerId;
   readonly key: string;
@@ -16,7 +16,7 @@
 }
 
 /** Asks for the right to run a key with one nonce at one incarnation of an endpoint. */
-export interface IntentRecord extends RecordOfKey {
+export interface IntentRecord extends KeyRecordBase {
   readonly kind: 'intent';
   readonly fingerprint: string;
   readonly nonce: Nonce;
@@ -34,19 +34,19 @@
   readonly bodyDigest: string | null;
 }
 
-export interface OutcomeRecord extends RecordOfKey, Outcome {
+export interface OutcomeRecord extends KeyRecordBase, Outcome {
   readonly kind: 'outcome';
   readonly nonce: Nonce;
 }
 
 /** The owner's promise never to dispatch a nonce. */
-export interface AbandonedRecord extends RecordOfKey {
+export interface AbandonedRecord extends KeyRecordBase {
   readonly kind: 'abandoned';
   readonly nonce: Nonce;
 }
 
 /** State of a chain as of an offset, appended before retention drops the records behind it. */
-export interface CarryForwardRecord extends RecordOfKey {
+export interface CarryForwardRecord extends KeyRecordBase {
   readonly kind: 'carry-forward';
   readonly fingerprint: string | null;
   /** The state contains every record below this offset. */
@@ -249,7 +249,7 @@
 interface IntentStateBase {
   readonly request: IntentRequest;
   /** Nonces that can never start: fenced ones, and own ones that will not be dispatched. */
-  readonly dead: readonly Nonce[];
+  readonly unstartable: readonly Nonce[];
   /** Endpoints that refused this request. */
   readonly refusedBy: readonly EndpointId[];
   /** Number of intents appended so far. */
@@ -261,7 +261,7 @@
 }
 
 /** Progress of the append of an own intent. */
-export type AppendStanding =
+export type AppendProgress =
   | { readonly kind: 'pending' }
   | { readonly kind: 'appended'; readonly offset: Offset }
   | { readonly kind: 'unknown' };
@@ -279,7 +279,7 @@
         readonly kind: 'settling';
         readonly place: NoncePlace;
         readonly previous: Nonce | null;
-        readonly append: AppendStanding;
+        readonly append: AppendProgress;
       }
     | { readonly kind: 'dispatched'; readonly place: NoncePlace }
     | { readonly kind: 'fencing'; readonly place: NoncePlace; readonly purpose: FencePurpose }
--- a/packages/decisions/idempotency/upkeep.test.ts
+++ b/packages/decisions/idempotency/upkeep.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { planCarryForward } from './carryForward.js';
-import { CARRY_ROUND_MS, CLOCK_MARGIN_MS, EXPIRY_SWEEP_MS } from './constants.js';
+import { CARRY_FORWARD_CYCLE_MS, CLOCK_MARGIN_MS, EXPIRY_SWEEP_MS } from './constants.js';
 import { createIntentTable, expireChains, foldIntentBatch } from './table.js';
 import type { IntentRecord } from './types.js';
 import { planUpkeep } from './upkeep.js';
@@ -65,7 +65,7 @@
 test('every due chain is carried forward within one round of the table', (t) => {
   const chains = 100_000;
   const { carried } = planUpkeep(chains, PERIOD_MS);
-  t.true(carried * Math.floor(CARRY_ROUND_MS / PERIOD_MS) >= chains);
+  t.true(carried * Math.floor(CARRY_FORWARD_CYCLE_MS / PERIOD_MS) >= chains);
   const table = createIntentTable(SETTINGS);
   const records = buildIntents(0, 1_000, 0).map((record, offset) => ({ offset, record }));
   foldIntentBatch(table, { firstOffset: 0, nextOffset: 1_000, records, end: 'reached' }, 0);
--- a/packages/decisions/idempotency/upkeep.ts
+++ b/packages/decisions/idempotency/upkeep.ts
@@ -1,4 +1,9 @@
-import { CARRY_ROUND_MS, EXPIRY_SWEEP_MS, MIN_CARRIED, MIN_EXPIRY_VISITS } from './constants.js';
+import {
+  CARRY_FORWARD_CYCLE_MS,
+  EXPIRY_SWEEP_MS,
+  MIN_CARRIED_CHAINS,
+  MIN_EXPIRY_VISITS,
+} from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
 /** Work of one round of upkeep. */
@@ -20,5 +25,5 @@
  */
 export const planUpkeep = (chains: number, periodMs: Millis): UpkeepPlan => ({
   visits: Math.max(MIN_EXPIRY_VISITS, Math.ceil((chains * periodMs) / EXPIRY_SWEEP_MS)),
-  carried: Math.max(MIN_CARRIED, Math.ceil((chains * periodMs) / CARRY_ROUND_MS)),
+  carried: Math.max(MIN_CARRIED_CHAINS, Math.ceil((chains * periodMs) / CARRY_FORWARD_CYCLE_MS)),
 });
