Reword the comments of the idempotency decisions

Phrases such as "tells whether", "goes on", "asks for", "takes its place" and "kept window" are replaced by reports, resumes, requests, becomes active and key window. Constants state the limit or time that they set; the figures and reasons behind them stay. The fold rule now names the fingerprint check.

--- a/packages/decisions/idempotency/carryForward.ts
+++ b/packages/decisions/idempotency/carryForward.ts
@@ -6,18 +6,18 @@
 import type { Offset } from '../../core/ids.js';
 
 export interface RetentionInfo {
-  /** Oldest offset that the log still holds. */
+  /** Offset of the oldest record that the log retains. */
   readonly firstOffset: Offset;
   readonly now: Millis;
-  /** Age of a record after which its chain is carried; well below the log's retention time. */
+  /** Age of a record at which its chain is carried; well below the log's retention time. */
   readonly carryAfterMs: Millis;
-  /** Largest number of records in one plan. */
+  /** Maximum number of records in one plan. */
   readonly maxRecords: number;
 }
 
 const isDue = (chain: TableChain, table: IntentTable, info: RetentionInfo): boolean => {
   if (info.now - chain.oldestNeededAt >= info.carryAfterMs) return true;
-  // A log that drops by count has no age to compare: the older half of what it holds is due.
+  // With retention by count there is no age to compare, so the older half of the log is due.
   const middle = info.firstOffset + (table.nextOffset - info.firstOffset) / 2;
   return info.firstOffset > 0 && chain.oldestNeededOffset < middle;
 };
@@ -40,11 +40,12 @@
 });
 
 /**
- * Plans the records that must be appended again before retention drops them. Several daemons may
- * do so at once: a second copy of a chain's state changes nothing.
+ * Plans the carry-forward records to append before retention drops the records of their chains.
+ * Several daemons may append them at the same time, because a second snapshot of a chain has no
+ * effect.
  *
- * @param table - the table; an inexact one plans nothing
- * @param info - bounds of the log and of the plan
+ * @param table - intent table; nothing is planned while it is catching up
+ * @param info - state of the log's retention and bound of the plan
  * @returns records to append, the most urgent chain first
  */
 export const planCarryForward = (
@@ -54,7 +55,7 @@
   if (table.standing !== 'exact') return [];
   const records: CarryForwardRecord[] = [];
   for (const chain of table.chains.values()) {
-    // The chains are in the order in which they become due.
+    // The table is ordered by the time at which chains become due.
     if (records.length >= info.maxRecords || !isDue(chain, table, info)) break;
     if (isKeyExpired(chain.state.issuedAt, info.now, table.settings)) continue;
     records.push(toCarryForwardRecord(chain.state, table.nextOffset, info.now));
--- a/packages/decisions/idempotency/chain.ts
+++ b/packages/decisions/idempotency/chain.ts
@@ -17,11 +17,11 @@
   readonly result: FoldResult;
 }
 
-/** Shared by all chains, because nearly every key has none. */
+/** Shared by all chains, because almost no key has abandoned nonces. */
 const NO_NONCES: readonly Nonce[] = [];
 
 /**
- * Creates the chain of a key without an active intent.
+ * Creates the empty chain of a key, which has no active intent.
  *
  * @param record - any record of the key
  * @returns the empty chain
@@ -36,10 +36,10 @@
 });
 
 /**
- * Creates the chain that a carry-forward record holds.
+ * Restores a chain from a carry-forward record.
  *
- * @param record - the carry-forward record
- * @returns the chain as of the record's `asOf`
+ * @param record - carry-forward record
+ * @returns the chain as of the record's `asOf` offset
  */
 export const toChainState = (record: CarryForwardRecord): ChainState => ({
   customer: record.customer,
@@ -70,7 +70,7 @@
 
 const foldIntent = (state: ChainState, record: IntentRecord): ChainFold => {
   if (!isSuccessor(state, record)) {
-    // A caller that changes a key's time of issue must not make its chain expire earlier.
+    // A caller that changes the time of issue of a key must not make its chain expire earlier.
     const extended =
       state.issuedAt !== null && record.issuedAt !== null && record.issuedAt > state.issuedAt;
     return {
@@ -78,8 +78,8 @@
       result: 'void',
     };
   }
-  // An early abandoned nonce still takes its place in the chain: daemons that never read the
-  // abandoned record must see the same order.
+  // An intent that was abandoned early still becomes active, so that daemons that never read its
+  // abandoned record build the same order of intents.
   const early = state.abandonedEarly.includes(record.nonce);
   return {
     state: {
@@ -119,12 +119,13 @@
 };
 
 /**
- * Applies the fold rule to one chain: an intent is active when its `previous` is the nonce of the
- * active intent (null for an empty chain) and no outcome is recorded; every other intent is void.
+ * Applies one record to a chain. An intent becomes active when its `previous` is the nonce of the
+ * active intent (null for an empty chain), its fingerprint is the chain's and no outcome is
+ * recorded; every other intent is void.
  *
- * @param state - the chain
+ * @param state - chain before the record
  * @param record - next record of the key in log order
- * @returns the chain after the record, and what the record did
+ * @returns the chain after the record, and the effect of the record
  */
 export const foldChain = (state: ChainState, record: ChainRecord): ChainFold => {
   switch (record.kind) {
--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -1,42 +1,49 @@
 import type { IntentLimits, KeySettings, NonceSettings } from './types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Format of the records that this version writes and reads. */
+/** Record format that this version writes and reads. */
 export const INTENT_FORMAT = 1 as const;
 
 /**
- * Clock difference between two daemons that the expiry of keys allows for. A chain is kept this
- * much longer than its key is accepted, so no daemon accepts a key whose chain another one dropped.
+ * Clock skew between two daemons that the expiry of keys tolerates. A chain is kept for this much
+ * longer than its key is accepted, so no daemon accepts a key whose chain another one has dropped.
  */
 export const CLOCK_MARGIN_MS: Millis = 5 * 60_000;
 
-/** Names of customers, endpoints and daemons of which one copy is kept for all chains. */
+/** Maximum number of interned names of customers, endpoints and daemons. */
 export const MAX_POOLED_STRINGS = 10_000;
 
-/** Early abandoned nonces remembered per key; a forgotten one only costs a fence. */
+/**
+ * Maximum number of early abandoned nonces stored per key. A nonce beyond it only costs one more
+ * fence request.
+ */
 export const MAX_EARLY_ABANDONED = 8;
 
-/** Chains that one search for expired keys looks at, at least. */
+/** Minimum number of chains that one expiry step visits. */
 export const MIN_EXPIRY_VISITS = 2_000;
 
-/** Time within which the search for expired keys visits every chain. */
+/** Time within which the expiry sweep visits every chain. */
 export const EXPIRY_SWEEP_MS: Millis = 5 * 60_000;
 
-/** Chains that one round carries forward, at least. */
+/** Minimum number of chains that one upkeep round may carry forward. */
 export const MIN_CARRIED_CHAINS = 64;
 
 /**
- * Time within which every chain is carried forward once it is due. With the age at which it is due
- * it must lie below the log's retention time, or a key would be forgotten and could run again.
+ * Time within which every due chain is carried forward. The sum of this time and the age at which a
+ * chain becomes due must be less than the log's retention time; otherwise the records of a key could
+ * be dropped and the key could run again.
  */
 export const CARRY_FORWARD_CYCLE_MS: Millis = 30 * 60_000;
 
-/** Share of starts that fences may exceed the bound of the nonce table by, so that keys can be settled when it is full. */
+/**
+ * Fences are accepted up to this multiple of the nonce table's `maxEntries`, so that keys can still
+ * be resolved while the table is too full for starts.
+ */
 export const FENCE_HEADROOM_FACTOR = 1.25;
 
 export const DEFAULT_KEY_SETTINGS: KeySettings = {
   keyWindowMs: 24 * 3_600_000,
-  // 150,000 chains of 683 bytes are 102 MB, which leaves room below 128 MB for other control state.
+  // 150,000 chains of 683 bytes take 102 MB. The rest of 128 MB is left for other control state.
   maxUntimedKeys: 75_000,
   maxTimedKeys: 75_000,
 };
--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -7,7 +7,7 @@
 
 type Fencing = StateOf<'fencing'>;
 
-/** The chain says that the key ran, and its answer cannot be had. */
+/** Replies with the recorded status and digest when the key ran and its answer is unavailable. */
 const replyFromChain = (state: Fencing, view: IntentView): IntentStep => {
   const standing = view.chain?.link?.standing;
   const outcome = standing?.kind === 'closed' ? standing : { status: null, bodyDigest: null };
@@ -15,7 +15,7 @@
   return closeRequest(state, { kind: 'answer-digest', status, bodyDigest });
 };
 
-/** The nonce can never start, so the chain may go on. */
+/** Continues the chain after the nonce is known never to start. */
 const resumeChain = (state: Fencing, view: IntentView): IntentStep =>
   state.purpose === 'replay'
     ? replyFromChain(state, view)
@@ -27,7 +27,7 @@
   view: IntentView,
 ): IntentStep => {
   const { answer, status, bodyDigest } = result;
-  // The chain knows the status and digest of an answer that the endpoint daemon has dropped.
+  // The chain records the status and digest of an answer that the endpoint daemon has dropped.
   if (answer === null && state.purpose === 'replay') return replyFromChain(state, view);
   const effect: IntentEffect =
     answer === null
@@ -66,7 +66,7 @@
     case 'replay':
       return replyFromChain(state, view);
     case 'own-refused':
-      // The endpoint daemon said not-run, and this request dispatches a nonce only once.
+      // The endpoint daemon replied not-run, and this request dispatches a nonce only once.
       return resumeChain(state, view);
     case 'own-unknown':
     case 'take-over': {
@@ -109,9 +109,9 @@
 };
 
 /**
- * Decides what follows from the reply of an endpoint daemon about a nonce.
+ * Decides the next step after the reply of an endpoint daemon to a fence request.
  *
- * @param state - state that asked
+ * @param state - state that waits for the reply
  * @param result - the reply, or `unreachable`
  * @param view - current view
  * @returns the next step
--- a/packages/decisions/idempotency/groupCommit.ts
+++ b/packages/decisions/idempotency/groupCommit.ts
@@ -3,26 +3,27 @@
 export interface PendingAppend<Payload> {
   readonly payload: Payload;
   readonly bytes: number;
-  /** When the append was asked for. */
+  /** Time at which the append was requested. */
   readonly since: Millis;
 }
 
 export interface GroupCommitLimits {
   readonly maxRecords: number;
   readonly maxBytes: number;
-  /** Longest time that an append waits for company. */
+  /** Maximum time that an append waits for further appends to join its batch. */
   readonly maxDelayMs: Millis;
 }
 
 export interface GroupCommitPlan<Payload> {
   /** Batches to append now, in order. */
   readonly batches: readonly (readonly PendingAppend<Payload>[])[];
-  /** Appends that wait on, in order. */
+  /** Appends that stay pending, in order. */
   readonly rest: readonly PendingAppend<Payload>[];
-  /** When the oldest of the rest must go; null when nothing waits. */
+  /** Time at which the oldest pending append must be sent; null when none is pending. */
   readonly wakeAt: Millis | null;
 }
 
+/** Full batches, and the last batch, which may still grow. */
 interface BatchSplit<Payload> {
   readonly batches: readonly (readonly PendingAppend<Payload>[])[];
   readonly open: readonly PendingAppend<Payload>[];
@@ -49,13 +50,13 @@
 };
 
 /**
- * Splits waiting appends into batches by count, bytes and delay. A single append above the byte
- * bound goes alone.
+ * Groups pending appends into batches by count, size and delay. An append that alone exceeds the
+ * size bound forms its own batch.
  *
- * @param pending - waiting appends, oldest first
- * @param now - current instant
+ * @param pending - pending appends, oldest first
+ * @param now - current time
  * @param limits - bounds of one batch
- * @returns what to append now and when to plan again
+ * @returns the batches to append now, the appends that stay pending, and when to plan again
  */
 export const planGroupCommit = <Payload>(
   pending: readonly PendingAppend<Payload>[],
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -28,7 +28,7 @@
  * Creates the state of a request under a key.
  *
  * @param request - the request and its deadline
- * @returns the state before the `start` event
+ * @returns state before the `start` event
  */
 export const createIntentState = (request: IntentRequest): IntentState => ({
   kind: 'checking',
@@ -52,7 +52,7 @@
   return cancelIntent(state, view, { kind: 'fail', failure });
 };
 
-/** Looks whether the own intent was read back as active, was overtaken, or is still missing. */
+/** Checks whether this request's intent was read back as active, is void, or is still missing. */
 const settleIntent = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
   if (view.standing !== 'exact') return toStep(state);
   const { place, previous, append } = state;
@@ -62,8 +62,8 @@
     if (view.now >= state.request.deadlineAt) return failUnsettled(state, view);
     return toStep({ ...state, kind: 'dispatched', place }, { kind: 'dispatch', ...place });
   }
-  // The chain has moved on and never returns to an earlier nonce, so the own intent is void even
-  // when it lands later.
+  // Another intent became active, and a chain never returns to an earlier nonce. The intent of this
+  // request is therefore void, even when its append succeeds later.
   if ((link?.nonce ?? null) !== previous) {
     return resolveChain({ ...state, unstartable: [...state.unstartable, place.nonce] }, view);
   }
@@ -185,7 +185,7 @@
   return state.kind === 'waiting' ? resolveChain(state, view) : toStep(state);
 };
 
-/** Before the dispatch the request is withdrawn; after it the answer is still recorded. */
+/** Cancels the request before its dispatch; after the dispatch, the answer is still recorded. */
 const handleCallerGone = (state: IntentState, view: IntentView): IntentStep => {
   switch (state.kind) {
     case 'settling':
@@ -205,12 +205,12 @@
 };
 
 /**
- * Decides the next step of a request that runs at most once. Only a nonce that was read back as
- * active is dispatched, and only once; a nonce is replaced only after it can never start.
+ * Decides the next step of a request that runs at most once. A nonce is dispatched only after it was
+ * read back as active, and only once. It is replaced only when it is known never to start.
  *
  * @param state - state of the request
- * @param event - what happened
- * @param view - time, log and the key's chain as they are now
+ * @param event - event to handle
+ * @param view - current time, log state and chain of the key
  * @returns the next state and the effects to carry out
  */
 export const decideIntent = (
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -25,12 +25,12 @@
 
 export type IntentStep = Step<IntentState, IntentEffect>;
 
-/** State of one phase. */
+/** State of a request in one phase. */
 export type StateOf<Kind extends IntentState['kind']> = Extract<IntentState, { kind: Kind }>;
 
 type Base = Omit<StateOf<'finished'>, 'kind'>;
 
-/** Keeps what every phase has. */
+/** Drops the fields that belong to one phase only. */
 const toBase = ({
   request,
   unstartable,
@@ -73,22 +73,22 @@
 ): OutcomeRecord => ({ kind: 'outcome', ...buildKeyRecordBase(state, view), nonce, ...outcome });
 
 /**
- * Ends a request without more records.
+ * Finishes a request without appending further records.
  *
  * @param state - state of the request
- * @param effects - what the caller is told, if anything
+ * @param effects - reply to the caller, if any
  * @returns the finished state
  */
 export const closeRequest = (state: IntentState, ...effects: readonly IntentEffect[]): IntentStep =>
   toStep({ ...toBase(state), kind: 'finished' }, ...effects);
 
 /**
- * Starts a timer whose round makes earlier timers stale.
+ * Schedules a timer. Its round number makes all earlier timers stale.
  *
  * @param state - state of the request
- * @param timer - what the timer is for
+ * @param timer - purpose of the timer
  * @param delayMs - delay in milliseconds
- * @param effects - effects to carry out before
+ * @param effects - effects to carry out before the timer is scheduled
  * @returns the state with the new round
  */
 export const schedule = (
@@ -102,11 +102,11 @@
 };
 
 /**
- * Appends a record whose repetition is harmless, after the caller was answered.
+ * Replies to the caller and then appends an idempotent record, which may safely be appended twice.
  *
  * @param state - state of the request
  * @param record - outcome or abandoned record
- * @param effects - what the caller is told
+ * @param effects - reply to the caller, if any
  * @returns the recording state
  */
 export const recordInBackground = (
@@ -120,13 +120,13 @@
   });
 
 /**
- * Tells the caller the result of a nonce and records it unless the chain is closed already.
+ * Replies to the caller with the result of a nonce and records it, unless the chain is closed already.
  *
  * @param state - state of the request
- * @param nonce - the nonce with a result
- * @param outcome - the result
+ * @param nonce - nonce that the result belongs to
+ * @param outcome - result to record
  * @param view - current view
- * @param effect - what the caller is told
+ * @param effect - reply to the caller
  * @returns the recording or finished state
  */
 export const closeWithOutcome = (
@@ -141,11 +141,11 @@
 };
 
 /**
- * Refuses a request none of whose nonces can start any more. When one of them is still the active
- * intent, an abandoned record frees the key for others.
+ * Fails a request none of whose nonces can start any longer. When one of them is still the active
+ * intent, an abandoned record releases the key for other requests.
  *
  * @param state - state of the request
- * @param failure - reason; its verdict becomes `not-run`
+ * @param failure - reason; its verdict is replaced by `not-run`
  * @param view - current view
  * @returns the recording or finished state
  */
@@ -158,11 +158,11 @@
 };
 
 /**
- * Withdraws an own intent that was not dispatched, with the promise never to dispatch it.
+ * Cancels an intent of this request that was not dispatched, and records that it never will be.
  *
- * @param state - state with an unresolved or unread append
+ * @param state - state whose append is unresolved or not read back
  * @param view - current view
- * @param effects - what the caller is told
+ * @param effects - reply to the caller, if any
  * @returns the recording state
  */
 export const cancelIntent = (
@@ -173,11 +173,11 @@
   recordInBackground(state, toAbandonedRecord(state, state.place.nonce, view), ...effects);
 
 /**
- * Asks an endpoint daemon to fence a nonce or to tell how far it got.
+ * Requests an endpoint daemon to fence a nonce, or to report its progress when it was started.
  *
  * @param state - state of the request
- * @param place - the nonce and the incarnation that could start it
- * @param purpose - what follows from the reply
+ * @param place - the nonce and the endpoint incarnation that could start it
+ * @param purpose - why the nonce is fenced; it determines the handling of the reply
  * @returns the fencing state
  */
 export const fenceAtEndpoint = (
@@ -196,10 +196,10 @@
   incarnation,
 });
 
-/** Leaves a young intent of another daemon alone, then asks its endpoint daemon. */
+/** Waits until the intent of another request is `takeOverAfterMs` old, then fences it. */
 const waitForOther = (state: IntentState, link: ChainLink, view: IntentView): IntentStep => {
   if (view.log === 'out') {
-    // A fence would stop the other request, and nothing could be appended after it.
+    // A fence would stop the other request, and this one could not append an intent after it.
     const message = 'another request holds the key and the log does not answer';
     const failure = createFailure('may-have-run', 'key-unresolved', message);
     return closeRequest(state, { kind: 'fail', failure });
@@ -230,7 +230,7 @@
   );
 };
 
-/** Whether a new intent may follow the chain's active one. */
+/** Reports whether a new intent may replace the active intent of the chain. */
 const isReplaceable = (state: IntentState, link: ChainLink | null): boolean => {
   if (link === null) return true;
   switch (link.standing.kind) {
@@ -260,11 +260,11 @@
 };
 
 /**
- * Tells the caller that its deadline passed before an own nonce was dispatched.
+ * Fails a request whose deadline passed before a nonce of its own was dispatched.
  *
  * @param state - state of the request
  * @param view - current view
- * @returns the failure with the verdict that the chain allows
+ * @returns a step that fails with the verdict that follows from the chain
  */
 const failDeadline = (state: IntentState, view: IntentView): IntentStep => {
   if (isReplaceable(state, view.chain?.link ?? null)) {
@@ -276,7 +276,7 @@
 };
 
 /**
- * Decides what to do under the chain as it is now, when no own nonce can start any more.
+ * Decides the next step from the current chain when no nonce of this request can start any longer.
  *
  * @param state - state of the request
  * @param view - current view
@@ -294,13 +294,13 @@
 };
 
 /**
- * Appends an intent for a chosen endpoint, unless the chain moved on meanwhile.
+ * Appends an intent for the chosen endpoint, unless the chain changed in the meantime.
  *
  * @param state - state that waited for the endpoint
- * @param target - endpoint and incarnation
- * @param nonce - fresh nonce
+ * @param target - chosen endpoint and incarnation
+ * @param nonce - new nonce
  * @param view - current view
- * @returns the settling state, or the step that the changed chain asks for
+ * @returns the settling state, or the step that the changed chain requires
  */
 export const appendIntent = (
   state: StateOf<'choosing'>,
--- a/packages/decisions/idempotency/keys.ts
+++ b/packages/decisions/idempotency/keys.ts
@@ -8,10 +8,10 @@
 import type { Failure } from '../../core/verdict.js';
 
 /**
- * Reads the time of creation from a UUIDv7.
+ * Reads the time of creation that a UUIDv7 contains.
  *
- * @param id - a key or nonce of any form
- * @returns milliseconds since the epoch, or null when the value is no UUIDv7
+ * @param id - key or nonce, in any format
+ * @returns milliseconds since the epoch, or null when the value is not a UUIDv7
  */
 export const readIdTime = (id: string): Millis | null => {
   if (!validate(id) || version(id) !== 7) return null;
@@ -19,23 +19,23 @@
 };
 
 /**
- * Finds a key's time of issue.
+ * Determines the time of issue of a key.
  *
  * @param key - the caller's key
- * @param header - time from the caller's header, if it sent one
- * @returns the time inside a UUIDv7 key, else the header's, else null
+ * @param header - time from the caller's header, or null when it sent none
+ * @returns the time in a UUIDv7 key, else the time in the header, else null
  */
 export const resolveIssueTime = (key: string, header: Millis | null): Millis | null =>
   readIdTime(key) ?? header;
 
 /**
- * Tells whether a chain may be dropped. It is kept for a clock margin longer than its key is
+ * Reports whether a chain may be dropped. It is kept for `CLOCK_MARGIN_MS` longer than its key is
  * accepted.
  *
  * @param issuedAt - time of issue of the chain's key
- * @param now - current instant
- * @param settings - kept window
- * @returns true when no daemon accepts the key any more
+ * @param now - current time
+ * @param settings - key window
+ * @returns true when no daemon accepts the key any longer
  */
 export const isKeyExpired = (
   issuedAt: Millis | null,
@@ -61,10 +61,10 @@
 };
 
 /**
- * Checks a request against the content and time of issue that its key is bound to.
+ * Checks that a request has the content and time of issue that its key is bound to.
  *
- * @param request - the request
- * @param chain - chain of the request's key
+ * @param request - request under the key
+ * @param chain - chain of the key
  * @returns `accepted`, or a failure with code `key-conflict`
  */
 export const checkKeyBinding = (
@@ -83,13 +83,13 @@
 };
 
 /**
- * Checks a request's key before anything is appended.
+ * Checks the key of a request before any record is appended.
  *
  * @param request - customer, key, fingerprint and time of issue
- * @param chain - the key's chain in the table, if any
- * @param keyCounts - numbers of keys in the table
- * @param now - current instant
- * @param settings - kept window and bound of untimed keys
+ * @param chain - chain of the key, or undefined when the table has none
+ * @param keyCounts - number of keys in the table, by kind
+ * @param now - current time
+ * @param settings - key window and bounds on the number of keys
  * @returns `accepted`, or a failure with code `key-expired`, `key-conflict` or `overloaded`
  */
 export const checkKey = (
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -21,14 +21,14 @@
 }
 
 /**
- * Nonces that one incarnation of an endpoint daemon was asked to start or fence. The maps hold many
- * thousand entries, so this module updates them in place behind `decideNonce`.
+ * Nonces that one incarnation of an endpoint daemon was requested to start or fence. The maps hold
+ * many thousand entries, so `decideNonce` updates them in place.
  */
 export interface NonceTable {
   readonly incarnation: Incarnation;
   readonly settings: NonceSettings;
   readonly entries: Map<Nonce, NonceEntry>;
-  /** Held answers in the order in which they finished. */
+  /** Retained answers in the order in which their nonces finished. */
   readonly answers: Map<Nonce, RetainedAnswer>;
   answerBytes: number;
 }
@@ -36,9 +36,9 @@
 /**
  * Creates the empty table of a new incarnation.
  *
- * @param incarnation - start identity of the endpoint daemon
+ * @param incarnation - incarnation of the endpoint daemon
  * @param settings - window and bounds
- * @returns the table
+ * @returns the empty table
  */
 export const createNonceTable = (
   incarnation: Incarnation,
@@ -83,7 +83,7 @@
   }
   const known = table.entries.get(event.nonce);
   if (known !== undefined) return refuseKnown(known);
-  // Entries are dropped only above this age, so a dropped fence can never be passed.
+  // Entries are dropped only from this age on, so a nonce cannot start after its fence was dropped.
   if (isTooOld(createdAt, event.now, table.settings)) {
     return refuse(createFailure('not-run', 'key-expired', 'the nonce is older than the window'));
   }
@@ -121,7 +121,7 @@
   }
   const known = table.entries.get(event.nonce);
   if (known !== undefined) return reply(describeEntry(table, event.nonce, known));
-  // The entry may have been dropped after the nonce ran, so nothing can be promised.
+  // The nonce may have run and its entry may have been dropped, so its fence cannot be guaranteed.
   if (isTooOld(createdAt, event.now, table.settings)) {
     return reply({ kind: 'unknown-incarnation' });
   }
@@ -189,13 +189,14 @@
 };
 
 /**
- * Decides about a nonce at its endpoint daemon. A nonce is started at most once per incarnation,
- * and never after it was fenced. `now` must never go back: the age of a nonce decides both whether
- * it may start and whether its entry may be dropped.
+ * Applies an event to a nonce at its endpoint daemon. A nonce is started at most once per incarnation
+ * and never after it was fenced. `now` must not decrease, because the age of a nonce determines both
+ * whether it may start and whether its entry may be dropped.
  *
- * @param table - the incarnation's table, updated in place
- * @param event - what was asked for or what ended
- * @returns `run` when the call may start, `refuse`, the reply to a fence, or `kept`
+ * @param table - nonce table of the incarnation, updated in place
+ * @param event - request to start or fence, the end of a call, or an expiry tick
+ * @returns `run` when the call may start, `refuse`, the reply to a fence request, or `kept` for
+ *   events without a reply
  */
 export const decideNonce = (table: NonceTable, event: NonceEvent): NonceDecision => {
   switch (event.kind) {
--- a/packages/decisions/idempotency/records.ts
+++ b/packages/decisions/idempotency/records.ts
@@ -66,11 +66,11 @@
 const RECORD_NAME = 'record of the intents stream';
 
 /**
- * Checks a value of the `intents` stream.
+ * Parses a record of the `intents` stream.
  *
- * @param json - decoded JSON of a record
- * @returns the record, or a failure that names the first bad field (`unsupported-format` for a
- *   format of a later version)
+ * @param json - decoded JSON value
+ * @returns the record, or a failure that names the first invalid field; its code is
+ *   `unsupported-format` for the format of a later version and `bad-request` otherwise
  */
 export const parseIntentRecord = (json: unknown): Result<IntentStreamRecord, Failure> => {
   const formatFailure = checkRecordFormat(json, INTENT_FORMAT, RECORD_NAME);
--- a/packages/decisions/idempotency/sharedTexts.ts
+++ b/packages/decisions/idempotency/sharedTexts.ts
@@ -3,15 +3,15 @@
 import { assertNever } from '../../core/assertNever.js';
 
 /**
- * Texts that many chains have in common. Each record is parsed from JSON of its own, so without
- * this every chain would hold its own copy of the names of its customer, endpoint and daemons.
+ * Interned strings. Each record is parsed from a separate JSON document, so without interning every
+ * chain would hold its own copy of the names of its customer, endpoint and daemon.
  */
 export type StringPool = Map<string, string>;
 
 const getPooled = (pool: StringPool, value: string): string => {
   const known = pool.get(value);
   if (known !== undefined) return known;
-  // A new start costs copies only; it keeps names that are gone from piling up.
+  // Clearing only duplicates strings still in use, and bounds the names no longer in use.
   if (pool.size >= MAX_POOLED_STRINGS) pool.clear();
   pool.set(value, value);
   return value;
@@ -28,11 +28,11 @@
       };
 
 /**
- * Replaces the pool of a record that recur in others by one copy of each.
+ * Interns the names in a record that recur in other records.
  *
- * @param pool - pool seen so far, updated in place
- * @param record - checked record
- * @returns the record with shared pool
+ * @param pool - interned strings, updated in place
+ * @param record - validated record
+ * @returns a copy of the record with interned names
  */
 export const applyStringPool = (
   pool: StringPool,
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -21,31 +21,31 @@
   readonly record: ChainRecord;
 }
 
-/** One chain together with what is needed to correct it while the table catches up. */
+/** A chain together with the data that corrects it while the table catches up. */
 export interface TableChain {
   state: ChainState;
-  /** State that contains every record below `baseAsOf`; undefined without known history. */
+  /** State that contains every record below `baseAsOf`; undefined while the history is unknown. */
   base: ChainState | undefined;
   baseAsOf: Offset;
-  /** Records from `baseAsOf` on, kept only while the table catches up. */
+  /** Records at `baseAsOf` and above, kept only while the table catches up. */
   recordsSinceBase: LoggedRecord[];
   /** Offset of the last record that changed the chain. */
   lastOffset: Offset;
   /** The chain can be rebuilt from the records at this offset and above. */
   oldestNeededOffset: Offset;
-  /** Writer's time of the record at `coverOffset`. */
+  /** Time of the record at `oldestNeededOffset`, by its writer's clock. */
   oldestNeededAt: Millis;
 }
 
 /**
- * Intent chains of all kept keys. The maps hold up to several hundred thousand keys, so this module
- * updates them in place; other modules only read them.
+ * Intent chains of all keys that have not expired. The maps hold up to several hundred thousand
+ * keys, so this module updates them in place; other modules only read them.
  */
 export interface IntentTable {
   readonly settings: KeySettings;
-  /** While the table is exact, in the order of `coverOffset`: the chains due first come first. */
+  /** Ordered by `oldestNeededOffset` while the table is exact, so the chains due first come first. */
   readonly chains: Map<string, TableChain>;
-  /** Where the search for expired chains goes on. */
+  /** Position of the expiry sweep; null between two sweeps. */
   sweep: Iterator<TableChain> | null;
   readonly texts: StringPool;
   standing: TableStanding;
@@ -53,19 +53,19 @@
   untimedKeys: number;
 }
 
-/** Answer of one read of the stream, with its records already checked. */
+/** Result of one read of the stream, with its records already parsed. */
 export interface IntentBatch {
   readonly firstOffset: Offset;
   readonly nextOffset: Offset;
   readonly records: readonly { readonly offset: Offset; readonly record: IntentStreamRecord }[];
-  /** `reached` when the read returned everything that the stream held. */
+  /** `reached` when the read returned everything up to the end of the stream. */
   readonly end: 'reached' | 'more';
 }
 
 /**
- * Creates the table of a daemon that has read nothing yet.
+ * Creates the table of a daemon that has not read the stream yet.
  *
- * @param settings - kept window and bound of untimed keys
+ * @param settings - key window and bounds on the number of keys
  * @returns an empty table that is catching up
  */
 export const createIntentTable = (settings: KeySettings): IntentTable => ({
@@ -78,7 +78,7 @@
   untimedKeys: 0,
 });
 
-/** Shared by all chains, because only a table that catches up keeps records. */
+/** Shared by all chains, because records are kept only while the table catches up. */
 const NO_RECORDS: LoggedRecord[] = [];
 
 const toChainId = (customer: CustomerId, key: string): string => `${customer}\u0000${key}`;
@@ -86,10 +86,10 @@
 /**
  * Finds the chain of a key.
  *
- * @param table - the table
+ * @param table - intent table
  * @param customer - owner of the key
  * @param key - the caller's key
- * @returns the chain's state, or undefined when the key is new
+ * @returns state of the chain, or undefined when the key is unknown
  */
 export const findChain = (
   table: IntentTable,
@@ -100,8 +100,8 @@
 /**
  * Counts the keys of a table.
  *
- * @param table - the table
- * @returns numbers of keys with and without a time of issue
+ * @param table - intent table
+ * @returns the number of keys with and without a time of issue
  */
 export const countKeys = (table: IntentTable): KeptKeys => ({
   timed: table.chains.size - table.untimedKeys,
@@ -149,7 +149,7 @@
 const replayRecords = (base: ChainState, records: readonly LoggedRecord[]): ChainState =>
   records.reduce((state, { record }) => foldChain(state, record).state, base);
 
-/** Puts a carried state under the records that were read without their history. */
+/** Rebuilds a chain from its snapshot and the records that were read without their history. */
 const applyCarryForward = (
   table: IntentTable,
   chain: TableChain,
@@ -189,14 +189,14 @@
 };
 
 /**
- * Folds one record in log order. A record below the table's offset was folded before and is
+ * Folds one record in log order. A record below the table's next offset was folded before and is
  * ignored.
  *
- * @param table - the table, updated in place
+ * @param table - intent table, updated in place
  * @param offset - offset of the record
- * @param record - the checked record
- * @param now - current instant, for expiry
- * @returns what the record did
+ * @param record - parsed record
+ * @param now - current time, for expiry
+ * @returns effect of the record
  */
 export const foldIntentRecord = (
   table: IntentTable,
@@ -213,7 +213,7 @@
     : foldChainRecord(table, offset, shared);
 };
 
-/** Retention dropped unread records, so states are exact only up to the table's offset. */
+/** Handles records dropped unread by retention: states are exact only up to the old offset. */
 const openGap = (table: IntentTable, firstOffset: Offset): void => {
   if (table.standing === 'exact') {
     for (const chain of table.chains.values()) {
@@ -241,14 +241,14 @@
 };
 
 /**
- * Folds the answer of one read. A gap below `firstOffset` makes the table inexact until a read
- * reaches the end of the stream: the records that carry the dropped chains forward were appended
- * before the drop, so they lie before that end.
+ * Folds the result of one read. When retention dropped unread records below `firstOffset`, the table
+ * is inexact until a read reaches the end of the stream: the carry-forward records of the dropped
+ * chains were appended before the drop, so they lie before that end.
  *
- * @param table - the table, updated in place
+ * @param table - intent table, updated in place
  * @param batch - records and bounds of the read
- * @param now - current instant
- * @returns what each record did, in order
+ * @param now - current time
+ * @returns effect of each record, in order
  */
 export const foldIntentBatch = (
   table: IntentTable,
@@ -264,17 +264,21 @@
   return results;
 };
 
-/** A chain that holds only early abandoned nonces; without it their intents cost a fence. */
+/**
+ * Chains with only early abandoned nonces expire after the key window by the time of their oldest
+ * record. Without the chain, an intent of such a nonce only costs a fence request.
+ */
 const isExpiredEmptyChain = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
   chain.state.link === null && now > chain.oldestNeededAt + settings.keyWindowMs;
 
 /**
- * Drops chains of expired keys. A call visits a bounded number of chains and the next one goes on
- * from there, because a visit of several hundred thousand chains would hold up the loop.
+ * Drops chains of expired keys. Each call visits a bounded number of chains and the next call
+ * resumes there, because visiting several hundred thousand chains at once would block the event
+ * loop.
  *
- * @param table - the table, updated in place
- * @param now - current instant
- * @param maxVisits - number of chains to look at
+ * @param table - intent table, updated in place
+ * @param now - current time
+ * @param maxVisits - maximum number of chains to visit
  * @returns number of dropped chains
  */
 export const expireChains = (
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -2,32 +2,32 @@
 import type { CustomerId, EndpointId, Incarnation, Offset, RequestId } from '../../core/ids.js';
 import type { Failure } from '../../core/verdict.js';
 
-/** Identifier of one attempt to run a key: a UUIDv7, so that it carries its time of creation. */
+/** Identifies one attempt to run a key. It is a UUIDv7, so it contains its time of creation. */
 export type Nonce = string;
 
 interface KeyRecordBase {
   readonly format: 1;
   readonly customer: CustomerId;
   readonly key: string;
-  /** Time of issue of the key; null for a key without one, which never expires. */
+  /** Time at which the key was issued; null for an untimed key, which never expires. */
   readonly issuedAt: Millis | null;
-  /** Time of the append by the writer's clock. */
+  /** Time of the append, by the writer's clock. */
   readonly at: Millis;
 }
 
-/** Asks for the right to run a key with one nonce at one incarnation of an endpoint. */
+/** Claims the right to run a key with one nonce on one incarnation of an endpoint. */
 export interface IntentRecord extends KeyRecordBase {
   readonly kind: 'intent';
   readonly fingerprint: string;
   readonly nonce: Nonce;
-  /** Nonce of the chain's active intent that this one replaces; null for an empty chain. */
+  /** Nonce of the active intent that this one replaces; null for an empty chain. */
   readonly previous: Nonce | null;
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
   readonly entry: string;
 }
 
-/** Result of a nonce. `may-have-run` closes the key for good. */
+/** Result of a nonce. After `may-have-run` the key is never run again. */
 export interface Outcome {
   readonly verdict: 'ran' | 'may-have-run';
   readonly status: number | null;
@@ -39,17 +39,17 @@
   readonly nonce: Nonce;
 }
 
-/** The owner's promise never to dispatch a nonce. */
+/** States that the owner of a nonce will never dispatch it. */
 export interface AbandonedRecord extends KeyRecordBase {
   readonly kind: 'abandoned';
   readonly nonce: Nonce;
 }
 
-/** State of a chain as of an offset, appended before retention drops the records behind it. */
+/** Snapshot of a chain, appended before retention drops the records that it was built from. */
 export interface CarryForwardRecord extends KeyRecordBase {
   readonly kind: 'carry-forward';
   readonly fingerprint: string | null;
-  /** The state contains every record below this offset. */
+  /** The snapshot contains every record below this offset. */
   readonly asOf: Offset;
   readonly link: ChainLink | null;
   readonly abandonedEarly: readonly Nonce[];
@@ -58,7 +58,7 @@
 export type IntentStreamRecord =
   IntentRecord | OutcomeRecord | AbandonedRecord | CarryForwardRecord;
 
-/** Records that change a chain by the fold rule. */
+/** Records that the fold rule of `foldChain` applies to. */
 export type ChainRecord = IntentRecord | OutcomeRecord | AbandonedRecord;
 
 export type LinkStanding =
@@ -66,7 +66,7 @@
   | { readonly kind: 'abandoned' }
   | ({ readonly kind: 'closed' } & Outcome);
 
-/** The active intent of a chain. */
+/** Active intent of a chain. */
 export interface ChainLink {
   readonly nonce: Nonce;
   readonly previous: Nonce | null;
@@ -81,10 +81,10 @@
   readonly customer: CustomerId;
   readonly key: string;
   readonly issuedAt: Millis | null;
-  /** Fingerprint that the key is bound to; null while no intent is active. */
+  /** Fingerprint of the content that the key is bound to; null while no intent is active. */
   readonly fingerprint: string | null;
   readonly link: ChainLink | null;
-  /** Abandoned nonces whose intents have not landed, newest last. */
+  /** Nonces that were abandoned before their intents appeared in the log, newest last. */
   readonly abandonedEarly: readonly Nonce[];
 }
 
@@ -92,27 +92,27 @@
 export type FoldResult =
   'active' | 'void' | 'closed' | 'abandoned' | 'carried' | 'ignored' | 'expired';
 
-/** Whether the table contains every live chain up to its offset. */
+/** `exact` when the table contains every live chain up to its offset. */
 export type TableStanding = 'catching-up' | 'exact';
 
 export interface KeySettings {
-  /** How long after its issue a key is accepted. */
+  /** Time after its issue during which a key is accepted, in milliseconds. */
   readonly keyWindowMs: Millis;
-  /** Largest number of keys without a time of issue. */
+  /** Maximum number of keys without a time of issue. */
   readonly maxUntimedKeys: number;
-  /** Largest number of keys with a time of issue. */
+  /** Maximum number of keys with a time of issue. */
   readonly maxTimedKeys: number;
 }
 
-/** Numbers of keys in a table. */
+/** Number of keys in a table, by kind. */
 export interface KeptKeys {
   /** Keys with a time of issue. */
   readonly timed: number;
-  /** Keys without one, which never expire. */
+  /** Keys without a time of issue, which never expire. */
   readonly untimed: number;
 }
 
-/** A request under a key, as the front end hands it over. */
+/** Request under an idempotency key, as received from the front end. */
 export interface KeyedRequest {
   readonly customer: CustomerId;
   readonly key: string;
@@ -131,7 +131,7 @@
   readonly incarnation: Incarnation;
 }
 
-/** A nonce together with the only place that can start it. */
+/** A nonce together with the only endpoint incarnation that can start it. */
 export interface NoncePlace extends Target {
   readonly nonce: Nonce;
 }
@@ -143,13 +143,13 @@
   readonly bodyDigest: string;
 }
 
-/** Reply of an endpoint daemon to a fence, or the absence of one. */
+/** Reply of an endpoint daemon to a fence request, or the fact that none arrived. */
 export type FenceResult =
   | { readonly kind: 'fenced' }
   | { readonly kind: 'started' }
   | {
       readonly kind: 'finished';
-      /** Null when the endpoint daemon no longer holds the answer. */
+      /** Null when the endpoint daemon no longer retains the answer. */
       readonly answer: StoredAnswer | null;
       readonly status: number | null;
       readonly bodyDigest: string | null;
@@ -176,7 +176,7 @@
   | { readonly kind: 'endpoint-unavailable'; readonly failure: Failure }
   | {
       readonly kind: 'append-answered';
-      /** Kind of the records that were appended. */
+      /** Kind of the appended record. */
       readonly of: ChainRecord['kind'];
       readonly nonce: Nonce;
       readonly result: AppendResult;
@@ -191,7 +191,7 @@
 export type IntentEffect =
   | { readonly kind: 'choose-endpoint'; readonly exclude: readonly EndpointId[] }
   | { readonly kind: 'append-records'; readonly records: readonly ChainRecord[] }
-  /** Asks for a read of the stream up to its end. */
+  /** Requests a read of the stream up to its end. */
   | { readonly kind: 'read-stream' }
   | ({ readonly kind: 'dispatch' } & NoncePlace)
   | ({ readonly kind: 'fence' } & NoncePlace)
@@ -199,10 +199,10 @@
       readonly kind: 'answer';
       readonly answer: StoredAnswer;
       readonly source: 'own' | 'stored';
-      /** The nonce that the answer belongs to. */
+      /** The nonce that produced the answer. */
       readonly place: NoncePlace;
     }
-  /** The key ran and its answer is no longer held. */
+  /** The key ran, and its answer is no longer available. */
   | {
       readonly kind: 'answer-digest';
       readonly status: number | null;
@@ -217,15 +217,15 @@
     };
 
 export interface IntentLimits {
-  /** How long an append may stay unresolved before its request is refused. */
+  /** Time that the append of an intent may stay unresolved before its request is refused. */
   readonly settleMs: Millis;
-  /** Pause between two questions to an endpoint daemon about the same nonce. */
+  /** Interval between two fence requests for the same nonce. */
   readonly pollMs: Millis;
-  /** Age of another's open intent below which it is left alone. */
+  /** Minimum age at which the open intent of another request is fenced and taken over. */
   readonly takeOverAfterMs: Millis;
-  /** Largest number of intents that one request appends. */
+  /** Maximum number of intents that one request appends. */
   readonly maxIntents: number;
-  /** Largest number of appends of one outcome or abandoned record. */
+  /** Maximum number of attempts to append one outcome or abandoned record. */
   readonly maxRecordTries: number;
   readonly recordRetryMs: Millis;
 }
@@ -236,11 +236,11 @@
   /** Whether the log answered its last read. */
   readonly log: 'up' | 'out';
   readonly standing: TableStanding;
-  /** First offset of the stream that is not folded. */
+  /** Offset of the first record of the stream that is not folded yet. */
   readonly nextOffset: Offset;
-  /** The key's chain, or undefined when the table has none. */
+  /** Chain of the key, or undefined when the table has none. */
   readonly chain: ChainState | undefined;
-  /** Keys in the table. */
+  /** Number of keys in the table, checked against the bounds of `keys`. */
   readonly kept: KeptKeys;
   readonly keys: KeySettings;
   readonly limits: IntentLimits;
@@ -248,31 +248,31 @@
 
 interface IntentStateBase {
   readonly request: IntentRequest;
-  /** Nonces that can never start: fenced ones, and own ones that will not be dispatched. */
+  /** Nonces that can never start: fenced ones, and this request's own undispatched ones. */
   readonly unstartable: readonly Nonce[];
   /** Endpoints that refused this request. */
   readonly refusedBy: readonly EndpointId[];
-  /** Number of intents appended so far. */
+  /** Number of intents that this request appended so far. */
   readonly intents: number;
-  /** Counts scheduled timers, so that a stale one is recognised. */
+  /** Number of the newest timer; the event of a timer with a lower number is stale. */
   readonly round: number;
-  /** Last failure that a caller would be told when no attempt is left. */
+  /** Failure of the last attempt, returned to the caller when no attempt is left. */
   readonly lastFailure: Failure | null;
 }
 
-/** Progress of the append of an own intent. */
+/** Progress of appending this request's intent. */
 export type AppendProgress =
   | { readonly kind: 'pending' }
   | { readonly kind: 'appended'; readonly offset: Offset }
   | { readonly kind: 'unknown' };
 
-/** Why an endpoint daemon is asked about a nonce. */
+/** Why a fence request is sent for a nonce. */
 export type FencePurpose = 'own-refused' | 'own-unknown' | 'take-over' | 'replay';
 
 export type IntentState = IntentStateBase &
   (
     | { readonly kind: 'checking' }
-    /** Another daemon's intent is active and still young. */
+    /** The intent of another request is active and younger than `takeOverAfterMs`. */
     | { readonly kind: 'waiting'; readonly nonce: Nonce; readonly until: Millis }
     | { readonly kind: 'choosing' }
     | {
@@ -291,7 +291,7 @@
     | { readonly kind: 'finished' }
   );
 
-/** State of one nonce at its endpoint daemon. */
+/** State of a nonce at its endpoint daemon. */
 export type NonceEntry =
   | { readonly kind: 'fenced'; readonly createdAt: Millis }
   | { readonly kind: 'started'; readonly createdAt: Millis }
@@ -303,13 +303,13 @@
     };
 
 export interface NonceSettings {
-  /** Age above which a nonce is never started; its entry is dropped only after this age. */
+  /** Age from which a nonce is never started. Its entry is dropped no earlier than at this age. */
   readonly windowMs: Millis;
-  /** How long the answer of a finished nonce is held. */
+  /** Time for which the answer of a finished nonce is retained. */
   readonly answerKeepMs: Millis;
-  /** Bound on the bytes of all held answers; the oldest go first. */
+  /** Maximum total size of the retained answers in bytes; the oldest are evicted first. */
   readonly maxAnswerBytes: number;
-  /** Number of entries above which no nonce is started. */
+  /** Number of entries from which no further nonce is started. */
   readonly maxEntries: number;
 }
 
@@ -332,14 +332,14 @@
       readonly answer: StoredAnswer;
       readonly now: Millis;
     }
-  /** The answer of a started nonce is too large to be held. */
+  /** The answer of a started nonce is too large to be retained. */
   | {
       readonly kind: 'finish-without-answer';
       readonly nonce: Nonce;
       readonly status: number;
       readonly bodyDigest: string;
     }
-  /** The call of a started nonce certainly did not reach the service. */
+  /** The call of a started nonce is known not to have reached the service. */
   | { readonly kind: 'release'; readonly nonce: Nonce }
   | { readonly kind: 'expire'; readonly now: Millis };
 
--- a/packages/decisions/idempotency/upkeep.ts
+++ b/packages/decisions/idempotency/upkeep.ts
@@ -6,22 +6,22 @@
 } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Work of one round of upkeep. */
+/** Work of one upkeep round. */
 export interface UpkeepPlan {
-  /** Chains to look at for expired keys. */
+  /** Number of chains to check for expiry. */
   readonly visits: number;
-  /** Chains to carry forward at most. */
+  /** Maximum number of chains to carry forward. */
   readonly carried: number;
 }
 
 /**
- * Plans the work of one round of upkeep. It grows with the table: a fixed number of chains per round
- * lets a table of many keys grow faster than it is cleared, and lets retention drop chains before
- * they are carried.
+ * Plans the work of one upkeep round in proportion to the size of the table. With a fixed number of
+ * chains per round, a large table would gain keys faster than expired ones are removed, and retention
+ * would drop chains before they are carried forward.
  *
- * @param chains - chains in the table
+ * @param chains - number of chains in the table
  * @param periodMs - time between two rounds in milliseconds
- * @returns the plan
+ * @returns the number of chains to visit and to carry forward
  */
 export const planUpkeep = (chains: number, periodMs: Millis): UpkeepPlan => ({
   visits: Math.max(MIN_EXPIRY_VISITS, Math.ceil((chains * periodMs) / EXPIRY_SWEEP_MS)),
