Reword the tests and the simulation of the idempotency decisions

Titles such as "takes its place and blocks nobody" and "answers go by age" now state the result that is checked. The commands land and wake of the simulation are deliver-late and resume; its checks are unchanged.

--- a/packages/decisions/idempotency/atMostOnce.promise.test.ts
+++ b/packages/decisions/idempotency/atMostOnce.promise.test.ts
@@ -8,36 +8,37 @@
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_261_204);
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 1_500);
 
-const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+const ALL_MECHANISMS: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
 
 const addStatistics = (sum: Statistics, next: Statistics): void => {
   for (const name of Object.keys(sum) as (keyof Statistics)[]) sum[name] += next[name];
 };
 
 for (const profile of ['faults', 'retention'] as const) {
-  // Guards against a request that runs twice, a not-run that ran, and a ran that did not, under
-  // outages, lost answers, late appends, pauses, restarts and retention.
+  // Guards against a key that runs twice, and against a request reported as not-run that ran, or as
+  // ran that did not. These arise from outages, lost answers, late appends, pauses, restarts and
+  // retention.
   test(`a key runs at most once and every verdict is true (${profile})`, (t) => {
-    const sum = createSimulation(KEPT).statistics;
+    const sum = createSimulation(ALL_MECHANISMS).statistics;
     fc.assert(
       fc.property(buildCommandList(profile), (commands) => {
-        const simulation = runCommands(commands, KEPT);
+        const simulation = runCommands(commands, ALL_MECHANISMS);
         addStatistics(sum, simulation.statistics);
         if (simulation.violations.length > 0) throw new Error(simulation.violations.join('; '));
       }),
       { seed: SEED, numRuns: RUNS },
     );
     t.log(JSON.stringify(sum));
-    // A run in which nothing happens would pass as well.
+    // Without this check, a run in which nothing happens would pass as well.
     for (const name of Object.keys(sum) as (keyof Statistics)[])
       t.true(sum[name] > RUNS / 10, name);
   });
 }
 
 for (const name of ['fence', 'readBack', 'carryForward'] as const) {
-  // Guards against an oracle or a command list that would not notice the missing mechanism.
+  // Guards against an oracle or a command list that does not detect a missing mechanism.
   test(`with ${name} disabled the oracle finds a key that ran twice`, (t) => {
-    const mechanisms: Mechanisms = { ...KEPT, [name]: 'disabled' };
+    const mechanisms: Mechanisms = { ...ALL_MECHANISMS, [name]: 'disabled' };
     const details = fc.check(
       fc.property(buildCommandList('retention'), (commands) => {
         const { violations } = runCommands(commands, mechanisms);
--- a/packages/decisions/idempotency/chain.ts
+++ b/packages/decisions/idempotency/chain.ts
@@ -119,9 +119,9 @@
 };
 
 /**
- * Applies one record to a chain. An intent becomes active when its `previous` is the nonce of the
- * active intent (null for an empty chain), its fingerprint is the chain's and no outcome is
- * recorded; every other intent is void.
+ * Applies the fold rule to one chain. An intent becomes active when its `previous` is the nonce of
+ * the active intent (null for an empty chain), its fingerprint is the one that the chain is bound to,
+ * if any, and no outcome is recorded. Every other intent is void.
  *
  * @param state - chain before the record
  * @param record - next record of the key in log order
--- a/packages/decisions/idempotency/groupCommit.test.ts
+++ b/packages/decisions/idempotency/groupCommit.test.ts
@@ -4,8 +4,8 @@
 
 const LIMITS = { maxRecords: 3, maxBytes: 100, maxDelayMs: 5 };
 
-// Guards against lost, reordered or oversized appends, and against an append that waits too long.
-test('every append is in one place, in order, within the bounds of a batch', (t) => {
+// Guards against lost or reordered appends, oversized batches, and an append that waits too long.
+test('every append is planned once, in order and within the bounds of a batch', (t) => {
   const pendings = fc
     .array(fc.record({ bytes: fc.integer({ min: 1, max: 150 }), gap: fc.nat({ max: 3 }) }))
     .map((items) => {
@@ -25,9 +25,14 @@
           const bytes = batch.reduce((sum, append) => sum + append.bytes, 0);
           return batch.length === 1 || (batch.length <= 3 && bytes <= 100);
         });
-        const young = plan.rest.every(({ since }) => now - since < LIMITS.maxDelayMs);
-        const wakes = plan.rest.length === 0 ? plan.wakeAt === null : plan.wakeAt !== null;
-        return order.every((payload, index) => payload === index) && bounded && young && wakes;
+        const isWithinDelay = plan.rest.every(({ since }) => now - since < LIMITS.maxDelayMs);
+        const isWakeTimeSet = plan.rest.length === 0 ? plan.wakeAt === null : plan.wakeAt !== null;
+        return (
+          order.every((payload, index) => payload === index) &&
+          bounded &&
+          isWithinDelay &&
+          isWakeTimeSet
+        );
       }),
       { seed: 5, numRuns: 1_000 },
     );
--- a/packages/decisions/idempotency/intent.test.ts
+++ b/packages/decisions/idempotency/intent.test.ts
@@ -41,7 +41,7 @@
 
 type Input = readonly [IntentEvent, Partial<IntentView>?];
 
-/** Feeds events and describes the effects of the last one. */
+/** Applies events in order and returns the last state's kind and the last event's effects. */
 const runEvents = (...inputs: readonly Input[]) => {
   let state: IntentState = createIntentState(REQUEST);
   let effects: readonly string[] = [];
@@ -100,9 +100,9 @@
   { chain: openChain(nonce) },
 ];
 const ACTIVE = [START, chooseWith('a'), buildFolded({ chain: openChain('a') })] as const;
-const own = { chain: openChain('a') };
+const activeView = { chain: openChain('a') };
 
-// Each row guards against a double run or a wrong verdict in the named situation.
+// Each row guards against a key that runs twice or a wrong verdict in the named situation.
 const CASES: readonly (readonly [string, readonly Input[], readonly string[]])[] = [
   [
     'log down before the append',
@@ -115,24 +115,24 @@
     ['finished', 'fail not-run log-unavailable'],
   ],
   [
-    'append certainly refused',
+    'append rejected by the log',
     [START, chooseWith('a'), replyAppend('a', 'rejected')],
     ['finished', 'fail not-run log-unavailable'],
   ],
   [
-    'lost append answer is settled by reading',
+    'unresolved append is settled by reading the stream',
     [START, chooseWith('a'), replyAppend('a', 'unknown')],
     ['settling', 'read-stream'],
   ],
   ['own intent read back', [...ACTIVE], ['dispatched', 'dispatch a']],
   [
-    'read back by an inexact table',
-    [START, chooseWith('a'), buildFolded({ ...own, standing: 'catching-up' })],
+    'own intent read back by an inexact table',
+    [START, chooseWith('a'), buildFolded({ ...activeView, standing: 'catching-up' })],
     ['settling'],
   ],
   [
-    'read back after the deadline',
-    [START, chooseWith('a'), buildFolded({ ...own, now: 8_000 })],
+    'own intent read back after the deadline',
+    [START, chooseWith('a'), buildFolded({ ...activeView, now: 8_000 })],
     ['recording', 'fail not-run log-unavailable', 'append abandoned a'],
   ],
   [
@@ -141,49 +141,53 @@
     ['recording', 'fail not-run log-unavailable', 'append abandoned a'],
   ],
   [
-    'another daemon was first with the same key',
+    'intent of another daemon is active under the same key',
     [START, chooseWith('a'), buildFolded({ chain: openChain('b', 5_000) })],
     ['waiting', 'schedule wait'],
   ],
   [
-    'the other intent is old',
+    'intent of another daemon is old enough to be taken over',
     [START, chooseWith('a'), buildFolded({ chain: openChain('b') })],
     ['fencing', 'fence b'],
   ],
   [
-    'the other is fenced',
-    [[START[0], own], replyFence('a', 'fenced', own)],
+    'other nonce is fenced',
+    [[START[0], activeView], replyFence('a', 'fenced', activeView)],
     ['choosing', 'choose-endpoint'],
   ],
   [
-    'a new intent follows the fenced one',
-    [[START[0], own], replyFence('a', 'fenced', own), chooseWith('b', openChain('a'))],
+    'new intent replaces the fenced one',
+    [
+      [START[0], activeView],
+      replyFence('a', 'fenced', activeView),
+      chooseWith('b', openChain('a')),
+    ],
     ['settling', 'append intent b', 'schedule settle'],
   ],
   [
-    'the other still runs',
-    [[START[0], own], replyFence('a', 'started', own)],
+    'other nonce still runs',
+    [[START[0], activeView], replyFence('a', 'started', activeView)],
     ['fencing', 'schedule poll'],
   ],
   [
-    'the other still runs at the deadline',
-    [[START[0], own], replyFence('a', 'started', { ...own, now: 8_000 })],
+    'other nonce still runs at the deadline',
+    [[START[0], activeView], replyFence('a', 'started', { ...activeView, now: 8_000 })],
     ['finished', 'fail may-have-run key-in-flight'],
   ],
   [
-    'the other has finished',
-    [[START[0], own], replyFinished('a', ANSWER, openChain('a'))],
+    'other nonce has finished',
+    [[START[0], activeView], replyFinished('a', ANSWER, openChain('a'))],
     ['recording', 'answer', 'append outcome a'],
   ],
   [
-    'the incarnation of the other is gone',
-    [[START[0], own], replyFence('a', 'unknown-incarnation', own)],
+    'incarnation of the other nonce has ended',
+    [[START[0], activeView], replyFence('a', 'unknown-incarnation', activeView)],
     ['recording', 'fail may-have-run key-unresolved', 'append outcome a'],
   ],
   ['refused as not-run', [...ACTIVE, buildDispatchEnd('a', 'refused')], ['fencing', 'fence a']],
   [
     'refused, then fenced',
-    [...ACTIVE, buildDispatchEnd('a', 'refused'), replyFence('a', 'fenced', own)],
+    [...ACTIVE, buildDispatchEnd('a', 'refused'), replyFence('a', 'fenced', activeView)],
     ['choosing', 'choose-endpoint'],
   ],
   [
@@ -191,15 +195,22 @@
     [
       ...ACTIVE,
       buildDispatchEnd('a', 'refused'),
-      replyFence('a', 'fenced', own),
-      [{ kind: 'endpoint-unavailable', failure: createFailure('not-run', 'no-endpoint', '') }, own],
+      replyFence('a', 'fenced', activeView),
+      [
+        { kind: 'endpoint-unavailable', failure: createFailure('not-run', 'no-endpoint', '') },
+        activeView,
+      ],
     ],
     ['recording', 'fail not-run no-endpoint', 'append abandoned a'],
   ],
   ['answer lost', [...ACTIVE, buildDispatchEnd('a', 'unknown')], ['fencing', 'fence a']],
   [
-    'answer lost and endpoint gone',
-    [...ACTIVE, buildDispatchEnd('a', 'unknown'), replyFence('a', 'unknown-incarnation', own)],
+    'answer lost and incarnation ended',
+    [
+      ...ACTIVE,
+      buildDispatchEnd('a', 'unknown'),
+      replyFence('a', 'unknown-incarnation', activeView),
+    ],
     ['recording', 'fail may-have-run endpoint-lost', 'append outcome a'],
   ],
   [
@@ -207,7 +218,7 @@
     [
       ...ACTIVE,
       buildDispatchEnd('a', 'unknown'),
-      replyFence('a', 'fenced', { ...own, log: 'out' }),
+      replyFence('a', 'fenced', { ...activeView, log: 'out' }),
     ],
     ['recording', 'fail not-run log-unavailable', 'append abandoned a'],
   ],
@@ -215,7 +226,10 @@
     'answered',
     [
       ...ACTIVE,
-      [{ kind: 'dispatch-ended', nonce: 'a', result: { kind: 'answered', answer: ANSWER } }, own],
+      [
+        { kind: 'dispatch-ended', nonce: 'a', result: { kind: 'answered', answer: ANSWER } },
+        activeView,
+      ],
     ],
     ['recording', 'answer', 'append outcome a'],
   ],
@@ -225,12 +239,12 @@
     ['choosing', 'choose-endpoint'],
   ],
   [
-    'other content under the key',
+    'different content under the key',
     [[START[0], { chain: { ...openChain('a'), fingerprint: 'g' } }]],
     ['finished', 'fail not-run key-conflict'],
   ],
   [
-    'the caller goes before the dispatch',
+    'caller disconnects before the dispatch',
     [START, chooseWith('a'), [{ kind: 'caller-gone' }]],
     ['recording', 'append abandoned a'],
   ],
@@ -242,7 +256,7 @@
   });
 }
 
-// Guards against a repeated key that runs again, and against a lost status.
+// Guards against a repeated key that runs again, and against a lost status and digest.
 test('a repeated key gets the stored answer, else its status and digest', (t) => {
   const closed = { kind: 'closed', verdict: 'ran', status: 201, bodyDigest: 'd' } as const;
   const chain = buildChain('a', closed);
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -14,7 +14,7 @@
   NoncePlace,
   Outcome,
   OutcomeRecord,
-  Target,
+  EndpointIncarnation,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -197,7 +197,7 @@
 });
 
 /** Waits until the intent of another request is `takeOverAfterMs` old, then fences it. */
-const waitForOther = (state: IntentState, link: ChainLink, view: IntentView): IntentStep => {
+const waitForOtherIntent = (state: IntentState, link: ChainLink, view: IntentView): IntentStep => {
   if (view.log === 'out') {
     // A fence would stop the other request, and this one could not append an intent after it.
     const message = 'another request holds the key and the log does not answer';
@@ -290,7 +290,7 @@
   if (link?.standing.kind === 'closed') return decideClosed(state, link, link.standing);
   if (view.now >= state.request.deadlineAt) return failDeadline(state, view);
   if (link === null || isReplaceable(state, link)) return chooseEndpoint(state, view);
-  return waitForOther(state, link, view);
+  return waitForOtherIntent(state, link, view);
 };
 
 /**
@@ -304,7 +304,7 @@
  */
 export const appendIntent = (
   state: StateOf<'choosing'>,
-  target: Target,
+  target: EndpointIncarnation,
   nonce: Nonce,
   view: IntentView,
 ): IntentStep => {
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -16,7 +16,7 @@
   bodyDigest: 'd',
 });
 
-// Guards against a paused owner that starts a call after another daemon took its key over.
+// Guards against a paused owner that starts a call after another daemon has taken over its key.
 test('a fenced nonce never starts and a started one is never fenced', (t) => {
   const table = createTable();
   const [first, second] = [createNonce(), createNonce()];
@@ -38,8 +38,8 @@
   });
 });
 
-// Guards against a large answer that fills the memory, and against its nonce starting again.
-test('an answer too large to hold leaves its status and digest', (t) => {
+// Guards against a large answer that exhausts the memory, and against its nonce starting again.
+test('an answer too large to retain leaves its status and digest', (t) => {
   const table = createTable();
   const nonce = createNonce();
   const at = { nonce, incarnation: 'i', now: 1 };
@@ -58,7 +58,7 @@
   t.like(decideNonce(table, { kind: 'start', ...at }), { failure: { verdict: 'may-have-run' } });
 });
 
-// Guards against an incarnation that promises for one that is gone.
+// Guards against an incarnation that starts or fences nonces of an earlier one.
 test('another incarnation neither starts nor fences', (t) => {
   const at = { nonce: createNonce(), incarnation: 'older', now: 1 };
   t.like(decideNonce(createTable(), { kind: 'start', ...at }), {
@@ -69,30 +69,30 @@
   });
 });
 
-// Guards against held answers that grow without bound, and against a result lost with its answer.
-test('answers go by age and bytes, and their status stays', (t) => {
+// Guards against unbounded retained answers, and against a result lost with its answer.
+test('answers are evicted by age and size, and their status is retained', (t) => {
   const table = createTable();
   const nonces = [createNonce(), createNonce()];
   for (const nonce of nonces) {
     decideNonce(table, { kind: 'start', nonce, incarnation: 'i', now: 1 });
     decideNonce(table, { kind: 'finish', nonce, answer: buildAnswer(6), now: 1 });
   }
-  const ask = (index: number) =>
+  const fenceAt = (index: number) =>
     decideNonce(table, {
       kind: 'fence',
       nonce: nonces[index] as string,
       incarnation: 'i',
       now: 1,
     });
-  t.like(ask(0), { result: { kind: 'finished', answer: null, status: 200 } });
-  t.like(ask(1), { result: { kind: 'finished', answer: { status: 200 } } });
+  t.like(fenceAt(0), { result: { kind: 'finished', answer: null, status: 200 } });
+  t.like(fenceAt(1), { result: { kind: 'finished', answer: { status: 200 } } });
   decideNonce(table, { kind: 'expire', now: 101 });
-  t.like(ask(1), { result: { kind: 'finished', answer: null, bodyDigest: 'd' } });
+  t.like(fenceAt(1), { result: { kind: 'finished', answer: null, bodyDigest: 'd' } });
   t.is(table.answerBytes, 0);
 });
 
-// Guards against unbounded entries, and against a full table that blocks the settling of keys.
-test('a full table refuses starts first', (t) => {
+// Guards against unbounded entries, and against a full table that prevents keys from being resolved.
+test('a full table refuses starts before it refuses fences', (t) => {
   const table = createTable();
   for (let index = 0; index < 4; index += 1) {
     decideNonce(table, { kind: 'start', nonce: createNonce(), incarnation: 'i', now: 1 });
--- a/packages/decisions/idempotency/records.test.ts
+++ b/packages/decisions/idempotency/records.test.ts
@@ -16,15 +16,15 @@
   at: 5,
 };
 
-// Guards against a record of a later version that is folded with today's meaning.
+// Guards against a record of a later version that is folded with the meaning of this version.
 test('a later format is refused with the name of the field', (t) => {
   const failure = parseIntentRecord({ ...INTENT, format: 2 }).unwrapErr();
   t.is(failure.code, 'unsupported-format');
   t.regex(failure.message, /"format"/);
 });
 
-// Guards against a bad record that is folded, or refused without saying why.
-test('a bad field is named and a good record is kept', (t) => {
+// Guards against an invalid record that is folded, or refused without a reason.
+test('an invalid field is named and a valid record is returned unchanged', (t) => {
   t.regex(parseIntentRecord({ ...INTENT, previous: 3 }).unwrapErr().message, /"previous"/);
   t.regex(parseIntentRecord({ ...INTENT, kind: 'other' }).unwrapErr().message, /"kind"/);
   t.true(parseIntentRecord(null).isErr());
--- a/packages/decisions/idempotency/sharedTexts.ts
+++ b/packages/decisions/idempotency/sharedTexts.ts
@@ -4,14 +4,14 @@
 
 /**
  * Interned strings. Each record is parsed from a separate JSON document, so without interning every
- * chain would hold its own copy of the names of its customer, endpoint and daemon.
+ * chain would hold its own copy of the names of its customer, endpoint and daemons.
  */
 export type StringPool = Map<string, string>;
 
 const getPooled = (pool: StringPool, value: string): string => {
   const known = pool.get(value);
   if (known !== undefined) return known;
-  // Clearing only duplicates strings still in use, and bounds the names no longer in use.
+  // Clearing bounds the strings no longer in use, at the cost of duplicates of the others.
   if (pool.size >= MAX_POOLED_STRINGS) pool.clear();
   pool.set(value, value);
   return value;
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -38,7 +38,7 @@
 };
 
 // Guards against two active intents of one key.
-test('the first intent after the active one wins, and none follows an outcome', (t) => {
+test('the first successor of the active intent becomes active, and none follows an outcome', (t) => {
   const { results, link } = foldAll(
     buildIntent('a', null),
     buildIntent('b', null),
@@ -54,7 +54,7 @@
 });
 
 // Guards against a different order of intents at daemons that did not read the abandoned record.
-test('an intent that lands after its abandoned record takes its place and blocks nobody', (t) => {
+test('an intent that is read after its abandoned record becomes active and can be replaced', (t) => {
   const { results, link } = foldAll(
     buildAbandoned('a'),
     buildIntent('a', null),
@@ -66,7 +66,7 @@
 });
 
 // Guards against a chain that is dropped while another daemon still accepts its key.
-test('a chain is kept for a clock margin after its window, untimed ones for ever', (t) => {
+test('a timed chain is kept for the clock margin after its window, an untimed one indefinitely', (t) => {
   const { table } = foldAll(buildIntent('a', null), {
     ...buildIntent('b', null),
     key: 'untimed',
@@ -78,7 +78,7 @@
   t.truthy(findChain(table, 'c', 'untimed'));
 });
 
-// Guards against a search for due or expired chains that holds up the loop, or misses some.
+// Guards against a search for due or expired chains that blocks the event loop or misses chains.
 test('due chains come first, and expired ones are found in bounded steps', (t) => {
   const table = createIntentTable(SETTINGS);
   const all = [0, 1, 2].map((index) => ({
@@ -113,8 +113,8 @@
     .map(([nonce, verdict]) => buildOutcome(nonce, verdict)),
 );
 
-// Guards against a fresh daemon that sees another active intent than one that read everything.
-test('a table that starts after retention holds the same link as one that read everything', (t) => {
+// Guards against a new daemon with a different active intent from one that read every record.
+test('a table built after retention has the same active intent as one that read every record', (t) => {
   t.notThrows(() => {
     fc.assert(
       fc.property(
@@ -122,7 +122,7 @@
         fc.array(anyRecord, { maxLength: 6 }),
         fc.array(anyRecord, { maxLength: 6 }),
         fc.nat({ max: 6 }),
-        (before, between, after, late) => {
+        (before, between, after, extraRecords) => {
           const full = createIntentTable(SETTINGS);
           foldFrom(full, 0, before);
           const info = { firstOffset: 0, now: 0, carryAfterMs: 0, maxRecords: 9 };
@@ -130,8 +130,8 @@
           const log = [...before, ...between, ...carried, ...after];
           foldFrom(full, 0, log);
           const [chain] = full.chains.values();
-          // Retention may drop everything that the chain does not need.
-          const firstOffset = Math.max(0, (chain?.oldestNeededOffset ?? log.length) - late);
+          // Retention may drop every record that the chain does not need.
+          const firstOffset = Math.max(0, (chain?.oldestNeededOffset ?? log.length) - extraRecords);
           const fresh = createIntentTable(SETTINGS);
           foldFrom(fresh, firstOffset, log);
           const links = [full, fresh].map((table) => findChain(table, 'c', 'k')?.link ?? null);
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -24,7 +24,7 @@
 /** A chain together with the data that corrects it while the table catches up. */
 export interface TableChain {
   state: ChainState;
-  /** State that contains every record below `baseAsOf`; undefined while the history is unknown. */
+  /** State that contains every record below `baseAsOf`; undefined without known history. */
   base: ChainState | undefined;
   baseAsOf: Offset;
   /** Records at `baseAsOf` and above, kept only while the table catches up. */
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -18,13 +18,13 @@
 
 const REFUSED: DispatchResult = {
   kind: 'refused',
-  failure: createFailure('not-run', 'overloaded', 'the engine has no room'),
+  failure: createFailure('not-run', 'overloaded', 'the engine has no free capacity'),
 };
 
 /**
- * The endpoint runs the work, then its answer is stored and sent; a restart in between loses it. The
- * endpoint may also refuse the work, the link to the entry daemon may break while the work runs, as
- * in mid-stream, and the answer may be too large to be stored.
+ * Runs a call, then stores and sends its answer; a restart in between loses the answer. Faults make
+ * the endpoint refuse the call, break the connection to the entry daemon while the call runs, as in
+ * mid-stream, or make the answer too large to be stored.
  */
 const runCall = (
   simulation: Simulation,
@@ -46,7 +46,7 @@
       return;
     }
     recordExecution(simulation, nonce, key);
-    // The entry daemon acts on its first reply only.
+    // The entry daemon handles only the first reply.
     if (atStart === 'lose-answer') reply(LOST);
     addTask(simulation, (fault) => {
       const answer = buildAnswer(place);
@@ -71,7 +71,10 @@
   reply: (result: DispatchResult) => void,
 ): void => {
   if (endpoint.accepting === 'draining') {
-    reply({ kind: 'refused', failure: createFailure('not-run', 'draining', 'leaving') });
+    reply({
+      kind: 'refused',
+      failure: createFailure('not-run', 'draining', 'the endpoint is draining'),
+    });
     return;
   }
   const { nonce, incarnation } = place;
@@ -92,7 +95,7 @@
   );
 };
 
-/** Sends a dispatch over a network that can lose or delay it and its reply. */
+/** Sends a dispatch over a network that can lose or delay the request and its reply. */
 export const sendDispatch = (
   simulation: Simulation,
   endpoint: EndpointModel,
@@ -108,7 +111,7 @@
     return;
   }
   if (fault !== 'lose-request') {
-    // The sender gives up while the message is still on its way.
+    // The sender times out while the message is still in transit.
     addTask(simulation, () => {
       receiveDispatch(simulation, endpoint, place, key, () => undefined);
     });
@@ -116,7 +119,7 @@
   reply(LOST);
 };
 
-const fenceModel = (
+const performFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
@@ -129,7 +132,7 @@
   return decision.kind === 'fence' ? decision.result : { kind: 'unreachable' };
 };
 
-/** Sends a fence over the same network. */
+/** Sends a fence request over the same network. */
 export const sendFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
@@ -142,7 +145,7 @@
     return;
   }
   addTask(simulation, (later) => {
-    const result = fenceModel(simulation, endpoint, place);
+    const result = performFence(simulation, endpoint, place);
     reply(fault === 'none' && later === 'none' ? result : { kind: 'unreachable' });
   });
 };
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -19,7 +19,7 @@
 const getEntry = (simulation: Simulation, index: number): EntryModel =>
   simulation.entries[index] as EntryModel;
 
-/** With the read-back disabled, an answered append passes for an active intent. */
+/** With the read-back disabled, an intent counts as active as soon as its append is answered. */
 const applyReadBack = (
   simulation: Simulation,
   state: IntentState,
@@ -57,7 +57,7 @@
   simulation.replies.set(requestId, reply);
 };
 
-/** Picks an endpoint; with a fault the entry daemon knows only an old incarnation. */
+/** Picks an endpoint; with a fault, the entry daemon knows only its previous incarnation. */
 const chooseTarget = (simulation: Simulation, exclude: readonly string[], fault: Fault) => {
   const free = simulation.endpoints.filter(({ id }) => !exclude.includes(id));
   const endpoint = free[simulation.sequence % Math.max(1, free.length)];
@@ -165,7 +165,7 @@
   }
 };
 
-/** Decides one event of a request; each effect becomes a task that runs at any later time. */
+/** Applies an event to a request; each effect becomes a task that may run at any later time. */
 export const postEvent = (
   simulation: Simulation,
   owner: number,
@@ -186,7 +186,7 @@
   }
 };
 
-/** Reads one batch and tells every request of the entry daemon. */
+/** Reads one batch and notifies every request of the entry daemon. */
 export const readEntry = (simulation: Simulation, owner: number): void => {
   const entry = getEntry(simulation, owner);
   if (entry.activity === 'paused') return;
@@ -196,7 +196,7 @@
   }
 };
 
-/** A caller sends a request under one of the model's keys. */
+/** Starts a request of a caller under one of `MODEL_KEYS`. */
 export const startModelRequest = (
   simulation: Simulation,
   owner: number,
@@ -223,7 +223,7 @@
   });
 };
 
-/** An entry daemon appends what retention would drop soon. */
+/** Appends the carry-forward records that are due at an entry daemon. */
 export const appendCarryForward = (simulation: Simulation, owner: number): void => {
   const entry = getEntry(simulation, owner);
   if (entry.activity === 'paused' || entry.logSeen === 'out') return;
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -29,7 +29,7 @@
   { weight: 1, arbitrary: fc.constant('late' as const) },
 );
 
-/** How often each command occurs; `retention` restarts entry daemons on a log that was cut. */
+/** Weights of the commands; `retention` often restarts entry daemons on a trimmed log. */
 export type Profile = 'faults' | 'retention';
 
 type Weights = Readonly<Record<Command['kind'], number>>;
@@ -41,12 +41,12 @@
     read: 20,
     advance: 6,
     pause: 2,
-    wake: 3,
+    resume: 3,
     'restart-entry': 1,
     'restart-endpoint': 1,
     'drain-endpoint': 1,
     log: 2,
-    land: 2,
+    'deliver-late': 2,
     carry: 4,
     trim: 3,
   };
@@ -67,7 +67,7 @@
     case 'step':
       return fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 30 }), fault });
     case 'request':
-      // One request in ten has other content under its key.
+      // One request in ten has different content under its key.
       return fc.record({
         kind: fc.constant(kind),
         entry,
@@ -75,14 +75,14 @@
         content: fc.nat({ max: 9 }).map((value) => (value === 9 ? 1 : 0)),
       });
     case 'advance':
-      // The longest step expires the timed keys and every nonce.
+      // The longest step expires the timed keys and all nonces.
       return fc.record({
         kind: fc.constant(kind),
         ms: fc.constantFrom(100, 300, 300, 1_000, 1_000, 3_000, 10_000, 420_000),
       });
     case 'read':
     case 'pause':
-    case 'wake':
+    case 'resume':
     case 'restart-entry':
     case 'carry':
       return fc.record({ kind: fc.constant(kind), entry });
@@ -91,7 +91,7 @@
       return fc.record({ kind: fc.constant(kind), endpoint });
     case 'log':
       return fc.record({ kind: fc.constant(kind), mode: logMode });
-    case 'land':
+    case 'deliver-late':
     case 'trim':
       return fc.constant({ kind });
     default:
@@ -100,10 +100,10 @@
 };
 
 /**
- * Builds lists of commands for one run.
+ * Builds the arbitrary that generates the commands of one run.
  *
- * @param profile - how often each command occurs
- * @returns the arbitrary list
+ * @param profile - weights of the commands
+ * @returns arbitrary of command lists
  */
 export const buildCommandList = (profile: Profile): fc.Arbitrary<Command[]> => {
   const weights = Object.entries(getWeights(profile)) as [Command['kind'], number][];
@@ -119,10 +119,10 @@
 };
 
 const runTask = (simulation: Simulation, pick: number, taskFault: Fault): 'ran' | 'idle' => {
-  const stale = ({ owner, epoch }: Task): boolean =>
+  const isStale = ({ owner, epoch }: Task): boolean =>
     owner !== null && simulation.entries[owner]?.epoch !== epoch;
   for (let index = simulation.tasks.length - 1; index >= 0; index -= 1) {
-    if (stale(simulation.tasks[index] as Task)) simulation.tasks.splice(index, 1);
+    if (isStale(simulation.tasks[index] as Task)) simulation.tasks.splice(index, 1);
   }
   const runnable = simulation.tasks.filter((task) => isRunnable(simulation, task));
   const task = runnable[pick % Math.max(1, runnable.length)];
@@ -149,7 +149,7 @@
     case 'pause':
       (simulation.entries[next.entry] as EntryModel).activity = 'paused';
       return;
-    case 'wake':
+    case 'resume':
       (simulation.entries[next.entry] as EntryModel).activity = 'running';
       return;
     case 'restart-entry':
@@ -166,7 +166,7 @@
     case 'log':
       simulation.log.mode = next.mode;
       return;
-    case 'land':
+    case 'deliver-late':
       addLateAppend(simulation);
       return;
     case 'carry':
@@ -180,7 +180,7 @@
   }
 };
 
-/** Ends all faults and runs until every task is done. */
+/** Ends all faults and runs the remaining tasks, within a bounded number of rounds. */
 const drainSimulation = (simulation: Simulation): void => {
   simulation.log.mode = 'up';
   for (const model of simulation.entries) model.activity = 'running';
@@ -223,10 +223,10 @@
 };
 
 /**
- * Runs a list of commands and then all that is left, without faults.
+ * Runs a list of commands and then all remaining tasks, without faults.
  *
- * @param commands - what happens
- * @param mechanisms - which mechanisms are in place
+ * @param commands - commands in order
+ * @param mechanisms - mechanisms that are enabled or disabled
  * @returns the simulation with the violations that the oracle found
  */
 export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): Simulation => {
--- a/packages/decisions/idempotency/testing/types.ts
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -4,15 +4,15 @@
 import type { Millis } from '../../../core/clock.js';
 import type { Verdict } from '../../../core/verdict.js';
 
-/** Test-only switch that takes a mechanism away, to show that the oracle notices its absence. */
+/** Disables a mechanism in a test, to show that the oracle detects its absence. */
 export type Mechanism = 'kept' | 'disabled';
 
 export interface Mechanisms {
-  /** Endpoint daemons store the fences that they promise. */
+  /** Endpoint daemons store the fences that they confirm. */
   readonly fence: Mechanism;
-  /** Entry daemons dispatch only what they read back as active. */
+  /** Entry daemons dispatch only intents that they read back as active. */
   readonly readBack: Mechanism;
-  /** Entry daemons take dropped chains from the carry-forward records. */
+  /** Entry daemons restore chains from carry-forward records after retention dropped their records. */
   readonly carryForward: Mechanism;
 }
 
@@ -25,18 +25,18 @@
       readonly key: number;
       readonly content: number;
     }
-  /** Runs one of the waiting tasks, optionally with a fault on its message. */
+  /** Runs one of the runnable tasks, optionally with a fault on its message. */
   | { readonly kind: 'step'; readonly pick: number; readonly fault: Fault }
   | { readonly kind: 'advance'; readonly ms: Millis }
   | { readonly kind: 'read'; readonly entry: number }
   | { readonly kind: 'pause'; readonly entry: number }
-  | { readonly kind: 'wake'; readonly entry: number }
+  | { readonly kind: 'resume'; readonly entry: number }
   | { readonly kind: 'restart-entry'; readonly entry: number }
   | { readonly kind: 'restart-endpoint'; readonly endpoint: number }
   | { readonly kind: 'drain-endpoint'; readonly endpoint: number }
   | { readonly kind: 'log'; readonly mode: LogMode }
-  /** The oldest late append lands. */
-  | { readonly kind: 'land' }
+  /** The oldest late append reaches the log. */
+  | { readonly kind: 'deliver-late' }
   | { readonly kind: 'carry'; readonly entry: number }
   | { readonly kind: 'trim' };
 
@@ -52,7 +52,7 @@
 export interface EntryModel {
   readonly id: string;
   readonly skewMs: Millis;
-  /** Counts restarts; tasks of an earlier life are dropped. */
+  /** Number of restarts; tasks of an earlier epoch are dropped. */
   epoch: number;
   activity: 'running' | 'paused';
   logSeen: 'up' | 'out';
@@ -69,7 +69,7 @@
 }
 
 export interface Task {
-  /** Index of the entry daemon that runs the task; null for the network and endpoints. */
+  /** Index of the entry daemon that runs the task; null for the network and endpoint daemons. */
   readonly owner: number | null;
   readonly epoch: number;
   readonly dueAt: Millis;
@@ -95,7 +95,7 @@
   now: Millis;
   sequence: number;
   readonly log: FakeLog;
-  /** Table of an observer that reads every record, for the trim command. */
+  /** Table that contains every record, from which the trim command finds the records to keep. */
   readonly observer: IntentTable;
   readonly entries: readonly EntryModel[];
   readonly endpoints: readonly EndpointModel[];
--- a/packages/decisions/idempotency/testing/world.ts
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -19,7 +19,7 @@
 };
 export const LIMITS: IntentLimits = { ...DEFAULT_INTENT_LIMITS, maxRecordTries: 3 };
 
-/** The timed keys were issued at the start; the last one has no time of issue. */
+/** Two timed keys, issued at the start, and an untimed key. */
 export const MODEL_KEYS = [
   { key: 'timed-0', issuedAt: START },
   { key: 'timed-1', issuedAt: START },
@@ -70,12 +70,12 @@
   statistics: { executions: 0, fences: 0, replays: 0, intents: 0, carried: 0, trimmed: 0 },
 });
 
-/** Adds a task that the network or an endpoint daemon runs. */
+/** Adds a task of the network or an endpoint daemon. */
 export const addTask = (simulation: Simulation, run: Task['run']): void => {
   simulation.tasks.push({ owner: null, epoch: 0, dueAt: simulation.now, run });
 };
 
-/** Adds a task that an entry daemon runs unless it is paused or restarted. */
+/** Adds a task of an entry daemon. It waits while the daemon is paused and is dropped on a restart. */
 export const addEntryTask = (
   simulation: Simulation,
   owner: number,
@@ -91,14 +91,14 @@
   for (const record of records) {
     const parsed = parseIntentRecord(JSON.parse(JSON.stringify(record))).unwrap();
     const offset = simulation.log.records.push(parsed) - 1;
-    // Time stands still for the observer, so that it never forgets a key.
+    // The observer's clock does not advance, so it never drops a key.
     foldIntentRecord(simulation.observer, offset, parsed, START);
   }
   simulation.observer.standing = 'exact';
   return first;
 };
 
-/** Appends to the fake log with its mode and a fault. */
+/** Appends to the fake log, subject to its mode and a fault. */
 export const appendToLog = (
   simulation: Simulation,
   records: readonly IntentStreamRecord[],
@@ -116,13 +116,13 @@
   return lost ? { kind: 'unknown', message: 'timeout' } : { kind: 'appended', offset };
 };
 
-/** Lets the oldest late append land. */
+/** Adds the records of the oldest late append to the log. */
 export const addLateAppend = (simulation: Simulation): void => {
   const records = simulation.log.lateAppends.shift();
   if (records !== undefined) addRecords(simulation, records);
 };
 
-/** With carry-forward disabled, daemons do not see what was carried. */
+/** With carry-forward disabled, daemons do not read carry-forward records. */
 const isVisible = (simulation: Simulation, record: IntentStreamRecord): boolean =>
   simulation.mechanisms.carryForward === 'kept' || record.kind !== 'carry-forward';
 
@@ -147,7 +147,10 @@
   expireChains(entry.table, now);
 };
 
-/** Drops the records that no live chain needs; the premise that retention waits for carry-forward. */
+/**
+ * Drops the records that no live chain needs. It models the assumption that retention drops records
+ * only after their chains were carried forward.
+ */
 export const pruneLog = (simulation: Simulation): void => {
   const needed = [...simulation.observer.chains.values()].map(
     ({ oldestNeededOffset }) => oldestNeededOffset,
@@ -158,7 +161,7 @@
   simulation.statistics.trimmed += 1;
 };
 
-/** Restarts an entry daemon with nothing but the log. */
+/** Restarts an entry daemon, which then rebuilds its state from the log. */
 export const restartEntry = (entry: EntryModel): void => {
   entry.epoch += 1;
   entry.activity = 'running';
@@ -174,14 +177,14 @@
   endpoint.table = createNonceTable(incarnation, NONCES);
 };
 
-/** Moves the clock and expires entries at the endpoint daemons. */
+/** Advances the clock and expires entries of the nonce tables. */
 export const updateTime = (simulation: Simulation, ms: Millis): void => {
   simulation.now += ms;
   for (const { table } of simulation.endpoints)
     decideNonce(table, { kind: 'expire', now: simulation.now });
 };
 
-/** Counts one execution of a nonce and notes a second one of its key. */
+/** Counts an execution of a nonce, and adds a violation when its key ran before. */
 export const recordExecution = (simulation: Simulation, nonce: Nonce, key: string): void => {
   const count = (simulation.executionsByKey.get(key) ?? 0) + 1;
   simulation.executionsByKey.set(key, count);
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -126,13 +126,13 @@
   readonly deadlineAt: Millis;
 }
 
-export interface Target {
+export interface EndpointIncarnation {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
 }
 
 /** A nonce together with the only endpoint incarnation that can start it. */
-export interface NoncePlace extends Target {
+export interface NoncePlace extends EndpointIncarnation {
   readonly nonce: Nonce;
 }
 
@@ -172,7 +172,11 @@
 
 export type IntentEvent =
   | { readonly kind: 'start' }
-  | { readonly kind: 'endpoint-chosen'; readonly target: Target; readonly nonce: Nonce }
+  | {
+      readonly kind: 'endpoint-chosen';
+      readonly target: EndpointIncarnation;
+      readonly nonce: Nonce;
+    }
   | { readonly kind: 'endpoint-unavailable'; readonly failure: Failure }
   | {
       readonly kind: 'append-answered';
--- a/packages/decisions/idempotency/upkeep.test.ts
+++ b/packages/decisions/idempotency/upkeep.test.ts
@@ -26,7 +26,7 @@
     entry: 'entry-1',
   }));
 
-/** Adds keys at a constant rate and runs the upkeep; returns the largest table. */
+/** Adds keys at a constant rate, expires chains each round, and returns the maximum table size. */
 const runRounds = (rounds: number, plan: (chains: number) => number): number => {
   const table = createIntentTable(SETTINGS);
   let largest = 0;
@@ -45,24 +45,24 @@
   return largest;
 };
 
-// Guards against a table that grows without bound because keys come in faster than a fixed number
-// of visits finds the expired ones.
-test('a table holds the keys of the window, the margin and one search', (t) => {
+// Guards against a table that grows without bound because keys arrive faster than a fixed number of
+// visits per round finds the expired ones.
+test('a table is bounded by the keys of the window, the clock margin and the expiry sweep', (t) => {
   const rounds = Math.ceil((2 * (WINDOW_MS + CLOCK_MARGIN_MS + EXPIRY_SWEEP_MS)) / PERIOD_MS);
-  const kept = WINDOW_MS + CLOCK_MARGIN_MS + 2 * EXPIRY_SWEEP_MS;
-  const bound = Math.ceil(kept / PERIOD_MS) * CHAINS_PER_ROUND;
+  const retainedMs = WINDOW_MS + CLOCK_MARGIN_MS + 2 * EXPIRY_SWEEP_MS;
+  const bound = Math.ceil(retainedMs / PERIOD_MS) * CHAINS_PER_ROUND;
   const largest = runRounds(rounds, (chains) => planUpkeep(chains, PERIOD_MS).visits);
   const fixed = runRounds(rounds, () => 2_000);
   t.log(
     `largest table ${largest.toString()}, bound ${bound.toString()}, fixed ${fixed.toString()}`,
   );
   t.true(largest <= bound);
-  // The fixed number of visits of an earlier version exceeds the bound.
+  // With the fixed number of visits of an earlier version, the table exceeds the bound.
   t.true(fixed > bound);
 });
 
-// Guards against chains that retention drops before their turn to be carried forward comes.
-test('every due chain is carried forward within one round of the table', (t) => {
+// Guards against chains that retention drops before they are carried forward.
+test('every due chain is carried forward within one cycle', (t) => {
   const chains = 100_000;
   const { carried } = planUpkeep(chains, PERIOD_MS);
   t.true(carried * Math.floor(CARRY_FORWARD_CYCLE_MS / PERIOD_MS) >= chains);
