Shorten titles and wrap comments of the idempotency decisions

The late append of the simulation is delivered by the command deliver. ChainState and LinkStanding are described.

--- a/packages/decisions/idempotency/chain.ts
+++ b/packages/decisions/idempotency/chain.ts
@@ -120,7 +120,7 @@
 
 /**
  * Applies the fold rule to one chain. An intent becomes active when its `previous` is the nonce of
- * the active intent (null for an empty chain), its fingerprint is the one that the chain is bound to,
+ * the active intent (null for an empty chain), its fingerprint is the one that the key is bound to,
  * if any, and no outcome is recorded. Every other intent is void.
  *
  * @param state - chain before the record
--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -30,8 +30,8 @@
 
 /**
  * Time within which every due chain is carried forward. The sum of this time and the age at which a
- * chain becomes due must be less than the log's retention time; otherwise the records of a key could
- * be dropped and the key could run again.
+ * chain becomes due must be less than the log's retention time. Otherwise the records of a key
+ * could be dropped, and the key could run again.
  */
 export const CARRY_FORWARD_CYCLE_MS: Millis = 30 * 60_000;
 
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -205,8 +205,8 @@
 };
 
 /**
- * Decides the next step of a request that runs at most once. A nonce is dispatched only after it was
- * read back as active, and only once. It is replaced only when it is known never to start.
+ * Decides the next step of a request that runs at most once. A nonce is dispatched only once, and
+ * only after it was read back as active. It is replaced only when it is known never to start.
  *
  * @param state - state of the request
  * @param event - event to handle
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -120,7 +120,7 @@
   });
 
 /**
- * Replies to the caller with the result of a nonce and records it, unless the chain is closed already.
+ * Replies to the caller with the result of a nonce, and records it unless the chain is closed.
  *
  * @param state - state of the request
  * @param nonce - nonce that the result belongs to
--- a/packages/decisions/idempotency/keys.test.ts
+++ b/packages/decisions/idempotency/keys.test.ts
@@ -27,8 +27,8 @@
   t.is(check({ ...REQUEST, issuedAt: NOW + 300_001 }), 'not-run key-expired');
 });
 
-// Guards against one key for two different requests, and against a caller that extends the life of a
-// key by a new time of issue.
+// Guards against one key for two different requests, and against a caller that extends the validity
+// of a key by a new time of issue.
 test('different content or another time of issue under a key is a conflict', (t) => {
   t.is(check({ ...REQUEST, fingerprint: 'g' }, CHAIN), 'not-run key-conflict');
   t.is(check({ ...REQUEST, issuedAt: NOW - 1 }, CHAIN), 'may-have-run key-conflict');
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -91,7 +91,7 @@
   t.is(table.answerBytes, 0);
 });
 
-// Guards against unbounded entries, and against a full table that prevents keys from being resolved.
+// Guards against unbounded entries, and against a full table that leaves keys unresolved.
 test('a full table refuses starts before it refuses fences', (t) => {
   const table = createTable();
   for (let index = 0; index < 4; index += 1) {
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -189,9 +189,9 @@
 };
 
 /**
- * Applies an event to a nonce at its endpoint daemon. A nonce is started at most once per incarnation
- * and never after it was fenced. `now` must not decrease, because the age of a nonce determines both
- * whether it may start and whether its entry may be dropped.
+ * Decides an event of a nonce at its endpoint daemon. A nonce is started at most once per
+ * incarnation, and never after it was fenced. `now` must not decrease, because the age of a nonce
+ * determines both whether it may start and whether its entry may be dropped.
  *
  * @param table - nonce table of the incarnation, updated in place
  * @param event - request to start or fence, the end of a call, or an expiry tick
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -38,7 +38,7 @@
 };
 
 // Guards against two active intents of one key.
-test('the first successor of the active intent becomes active, and none follows an outcome', (t) => {
+test('the first successor of the active intent wins, and none follows an outcome', (t) => {
   const { results, link } = foldAll(
     buildIntent('a', null),
     buildIntent('b', null),
@@ -54,7 +54,7 @@
 });
 
 // Guards against a different order of intents at daemons that did not read the abandoned record.
-test('an intent that is read after its abandoned record becomes active and can be replaced', (t) => {
+test('an intent read after its abandoned record becomes active and is replaceable', (t) => {
   const { results, link } = foldAll(
     buildAbandoned('a'),
     buildIntent('a', null),
@@ -66,7 +66,7 @@
 });
 
 // Guards against a chain that is dropped while another daemon still accepts its key.
-test('a timed chain is kept for the clock margin after its window, an untimed one indefinitely', (t) => {
+test('a chain is kept for the clock margin after its window, an untimed one indefinitely', (t) => {
   const { table } = foldAll(buildIntent('a', null), {
     ...buildIntent('b', null),
     key: 'untimed',
@@ -114,7 +114,7 @@
 );
 
 // Guards against a new daemon with a different active intent from one that read every record.
-test('a table built after retention has the same active intent as one that read every record', (t) => {
+test('a table built after retention has the same active intent as a complete one', (t) => {
   t.notThrows(() => {
     fc.assert(
       fc.property(
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -43,7 +43,7 @@
  */
 export interface IntentTable {
   readonly settings: KeySettings;
-  /** Ordered by `oldestNeededOffset` while the table is exact, so the chains due first come first. */
+  /** Ordered by `oldestNeededOffset` while the table is exact: chains due first come first. */
   readonly chains: Map<string, TableChain>;
   /** Position of the expiry sweep; null between two sweeps. */
   sweep: Iterator<TableChain> | null;
@@ -241,9 +241,9 @@
 };
 
 /**
- * Folds the result of one read. When retention dropped unread records below `firstOffset`, the table
- * is inexact until a read reaches the end of the stream: the carry-forward records of the dropped
- * chains were appended before the drop, so they lie before that end.
+ * Folds the result of one read. When retention dropped unread records below `firstOffset`, the
+ * table is inexact until a read reaches the end of the stream: the carry-forward records of the
+ * dropped chains were appended before the drop, so they lie before that end.
  *
  * @param table - intent table, updated in place
  * @param batch - records and bounds of the read
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -46,7 +46,7 @@
     'restart-endpoint': 1,
     'drain-endpoint': 1,
     log: 2,
-    'deliver-late': 2,
+    deliver: 2,
     carry: 4,
     trim: 3,
   };
@@ -91,7 +91,7 @@
       return fc.record({ kind: fc.constant(kind), endpoint });
     case 'log':
       return fc.record({ kind: fc.constant(kind), mode: logMode });
-    case 'deliver-late':
+    case 'deliver':
     case 'trim':
       return fc.constant({ kind });
     default:
@@ -166,7 +166,7 @@
     case 'log':
       simulation.log.mode = next.mode;
       return;
-    case 'deliver-late':
+    case 'deliver':
       addLateAppend(simulation);
       return;
     case 'carry':
--- a/packages/decisions/idempotency/testing/types.ts
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -12,7 +12,7 @@
   readonly fence: Mechanism;
   /** Entry daemons dispatch only intents that they read back as active. */
   readonly readBack: Mechanism;
-  /** Entry daemons restore chains from carry-forward records after retention dropped their records. */
+  /** Entry daemons restore chains from carry-forward records after retention. */
   readonly carryForward: Mechanism;
 }
 
@@ -36,7 +36,7 @@
   | { readonly kind: 'drain-endpoint'; readonly endpoint: number }
   | { readonly kind: 'log'; readonly mode: LogMode }
   /** The oldest late append reaches the log. */
-  | { readonly kind: 'deliver-late' }
+  | { readonly kind: 'deliver' }
   | { readonly kind: 'carry'; readonly entry: number }
   | { readonly kind: 'trim' };
 
--- a/packages/decisions/idempotency/testing/world.ts
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -3,7 +3,7 @@
 import { parseIntentRecord } from '../records.js';
 import { createIntentTable, expireChains, foldIntentBatch, foldIntentRecord } from '../table.js';
 import type { AppendResult, IntentLimits, IntentStreamRecord, Nonce } from '../types.js';
-import type { EndpointModel, EntryModel, Fault, Mechanisms, Task, Simulation } from './types.js';
+import type { EndpointModel, EntryModel, Fault, Mechanisms, Simulation, Task } from './types.js';
 import type { Millis } from '../../../core/clock.js';
 import type { Offset } from '../../../core/ids.js';
 
@@ -75,7 +75,7 @@
   simulation.tasks.push({ owner: null, epoch: 0, dueAt: simulation.now, run });
 };
 
-/** Adds a task of an entry daemon. It waits while the daemon is paused and is dropped on a restart. */
+/** Adds a task of an entry daemon, which waits during a pause and is dropped on a restart. */
 export const addEntryTask = (
   simulation: Simulation,
   owner: number,
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -27,7 +27,7 @@
   readonly entry: string;
 }
 
-/** Result of a nonce. After `may-have-run` the key is never run again. */
+/** Result of a nonce. `may-have-run` closes the key permanently, so that it is never run again. */
 export interface Outcome {
   readonly verdict: 'ran' | 'may-have-run';
   readonly status: number | null;
@@ -61,6 +61,7 @@
 /** Records that the fold rule of `foldChain` applies to. */
 export type ChainRecord = IntentRecord | OutcomeRecord | AbandonedRecord;
 
+/** State of the active intent; an outcome closes it. */
 export type LinkStanding =
   | { readonly kind: 'open' }
   | { readonly kind: 'abandoned' }
@@ -77,6 +78,7 @@
   readonly standing: LinkStanding;
 }
 
+/** State of one key after its records were folded in log order. */
 export interface ChainState {
   readonly customer: CustomerId;
   readonly key: string;
--- a/packages/decisions/idempotency/upkeep.ts
+++ b/packages/decisions/idempotency/upkeep.ts
@@ -16,8 +16,8 @@
 
 /**
  * Plans the work of one upkeep round in proportion to the size of the table. With a fixed number of
- * chains per round, a large table would gain keys faster than expired ones are removed, and retention
- * would drop chains before they are carried forward.
+ * chains per round, a large table would gain keys faster than expired ones are removed, and
+ * retention would drop chains before they are carried forward.
  *
  * @param chains - number of chains in the table
  * @param periodMs - time between two rounds in milliseconds
