Restore the shape of the group commit test and tidy comments

The names young and wakes stay, so that the returned expression keeps its shape. The round of a timer and the clearing of the string pool are described directly.

--- a/packages/decisions/idempotency/groupCommit.test.ts
+++ b/packages/decisions/idempotency/groupCommit.test.ts
@@ -25,14 +25,9 @@
           const bytes = batch.reduce((sum, append) => sum + append.bytes, 0);
           return batch.length === 1 || (batch.length <= 3 && bytes <= 100);
         });
-        const isWithinDelay = plan.rest.every(({ since }) => now - since < LIMITS.maxDelayMs);
-        const isWakeTimeSet = plan.rest.length === 0 ? plan.wakeAt === null : plan.wakeAt !== null;
-        return (
-          order.every((payload, index) => payload === index) &&
-          bounded &&
-          isWithinDelay &&
-          isWakeTimeSet
-        );
+        const young = plan.rest.every(({ since }) => now - since < LIMITS.maxDelayMs);
+        const wakes = plan.rest.length === 0 ? plan.wakeAt === null : plan.wakeAt !== null;
+        return order.every((payload, index) => payload === index) && bounded && young && wakes;
       }),
       { seed: 5, numRuns: 1_000 },
     );
--- a/packages/decisions/idempotency/sharedTexts.ts
+++ b/packages/decisions/idempotency/sharedTexts.ts
@@ -11,7 +11,7 @@
 const getPooled = (pool: StringPool, value: string): string => {
   const known = pool.get(value);
   if (known !== undefined) return known;
-  // Clearing bounds the strings no longer in use, at the cost of duplicates of the others.
+  // Clearing releases strings that are no longer in use and only duplicates the others.
   if (pool.size >= MAX_POOLED_STRINGS) pool.clear();
   pool.set(value, value);
   return value;
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -7,8 +7,8 @@
   Fault,
   LogMode,
   Mechanisms,
-  Task,
   Simulation,
+  Task,
 } from './types.js';
 import {
   updateTime,
--- a/packages/decisions/idempotency/testing/types.ts
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../../core/clock.js';
 import type { Verdict } from '../../../core/verdict.js';
 
-/** Disables a mechanism in a test, to show that the oracle detects its absence. */
+/** Tests disable a mechanism to show that the oracle detects its absence. */
 export type Mechanism = 'kept' | 'disabled';
 
 export interface Mechanisms {
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -260,7 +260,7 @@
   readonly refusedBy: readonly EndpointId[];
   /** Number of intents that this request appended so far. */
   readonly intents: number;
-  /** Number of the newest timer; the event of a timer with a lower number is stale. */
+  /** Round of the newest timer; the event of a timer of an earlier round is stale. */
   readonly round: number;
   /** Failure of the last attempt, returned to the caller when no attempt is left. */
   readonly lastFailure: Failure | null;
