--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -7,7 +7,7 @@
 
 type Fencing = StateOf<'fencing'>;
 
-/** The chain says that the key ran, and its answer cannot be had. */
+/** Replies with the recorded status and digest when the key ran and its answer is unavailable. */
 const replyFromChain = (state: Fencing, view: IntentView): IntentStep => {
   const standing = view.chain?.link?.standing;
   const outcome = standing?.kind === 'closed' ? standing : { status: null, bodyDigest: null };
@@ -15,11 +15,11 @@
   return closeRequest(state, { kind: 'answer-digest', status, bodyDigest });
 };
 
-/** The nonce can never start, so the chain may go on. */
+/** Continues the chain after the nonce is known never to start. */
 const resumeChain = (state: Fencing, view: IntentView): IntentStep =>
   state.purpose === 'replay'
     ? replyFromChain(state, view)
-    : resolveChain({ ...state, dead: [...state.dead, state.place.nonce] }, view);
+    : resolveChain({ ...state, unstartable: [...state.unstartable, state.place.nonce] }, view);
 
 const replyFinished = (
   state: Fencing,
@@ -27,7 +27,7 @@
   view: IntentView,
 ): IntentStep => {
   const { answer, status, bodyDigest } = result;
-  // The chain knows the status and digest of an answer that the endpoint daemon has dropped.
+  // The chain records the status and digest of an answer that the endpoint daemon has dropped.
   if (answer === null && state.purpose === 'replay') return replyFromChain(state, view);
   const effect: IntentEffect =
     answer === null
@@ -37,12 +37,12 @@
   return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
 };
 
-const toUnresolved = (
+const createUnresolvedFailure = (
   purpose: FencePurpose,
-  own: FailureCode,
-  other: FailureCode,
+  ownCode: FailureCode,
+  otherCode: FailureCode,
   message: string,
-): Failure => createFailure('may-have-run', purpose === 'take-over' ? other : own, message);
+): Failure => createFailure('may-have-run', purpose === 'take-over' ? otherCode : ownCode, message);
 
 const schedulePoll = (state: Fencing, view: IntentView, failure: Failure): IntentStep => {
   if (view.now < state.request.deadlineAt) return schedule(state, 'poll', view.limits.pollMs);
@@ -52,7 +52,12 @@
 const handleStarted = (state: Fencing, view: IntentView): IntentStep => {
   if (state.purpose === 'replay') return replyFromChain(state, view);
   const message = 'the request is still running';
-  const failure = toUnresolved(state.purpose, 'deadline-exceeded', 'key-in-flight', message);
+  const failure = createUnresolvedFailure(
+    state.purpose,
+    'deadline-exceeded',
+    'key-in-flight',
+    message,
+  );
   return schedulePoll(state, view, failure);
 };
 
@@ -61,12 +66,17 @@
     case 'replay':
       return replyFromChain(state, view);
     case 'own-refused':
-      // The endpoint daemon said not-run, and this request dispatches a nonce only once.
+      // The endpoint daemon replied not-run, and this request dispatches a nonce only once.
       return resumeChain(state, view);
     case 'own-unknown':
     case 'take-over': {
       const message = 'the endpoint that could have run the request is gone';
-      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      const failure = createUnresolvedFailure(
+        state.purpose,
+        'endpoint-lost',
+        'key-unresolved',
+        message,
+      );
       const outcome = { verdict: 'may-have-run', status: null, bodyDigest: null } as const;
       const effect = { kind: 'fail', failure } as const;
       return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
@@ -85,7 +95,12 @@
     case 'own-unknown':
     case 'take-over': {
       const message = 'the endpoint that could have run the request does not answer';
-      const failure = toUnresolved(state.purpose, 'endpoint-lost', 'key-unresolved', message);
+      const failure = createUnresolvedFailure(
+        state.purpose,
+        'endpoint-lost',
+        'key-unresolved',
+        message,
+      );
       return schedulePoll(state, view, failure);
     }
     default:
@@ -94,9 +109,9 @@
 };
 
 /**
- * Decides what follows from the reply of an endpoint daemon about a nonce.
+ * Decides the next step after the reply of an endpoint daemon to a fence request.
  *
- * @param state - state that asked
+ * @param state - state that waits for the reply
  * @param result - the reply, or `unreachable`
  * @param view - current view
  * @returns the next step
--- a/packages/decisions/idempotency/groupCommit.test.ts
+++ b/packages/decisions/idempotency/groupCommit.test.ts
@@ -4,8 +4,8 @@
 
 const LIMITS = { maxRecords: 3, maxBytes: 100, maxDelayMs: 5 };
 
-// Guards against lost, reordered or oversized appends, and against an append that waits too long.
-test('every append is in one place, in order, within the bounds of a batch', (t) => {
+// Guards against lost or reordered appends, oversized batches, and an append that waits too long.
+test('every append is planned once, in order and within the bounds of a batch', (t) => {
   const pendings = fc
     .array(fc.record({ bytes: fc.integer({ min: 1, max: 150 }), gap: fc.nat({ max: 3 }) }))
     .map((items) => {
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -1,5 +1,5 @@
-import { takeSharedTexts } from './sharedTexts.js';
-import type { SharedTexts } from './sharedTexts.js';
+import { applyStringPool } from './sharedTexts.js';
+import type { StringPool } from './sharedTexts.js';
 import { createChainState, foldChain, toChainState } from './chain.js';
 import { MIN_EXPIRY_VISITS } from './constants.js';
 import { isKeyExpired } from './keys.js';
@@ -16,56 +16,56 @@
 import type { Millis } from '../../core/clock.js';
 import type { CustomerId, Offset } from '../../core/ids.js';
 
-interface Placed {
+interface LoggedRecord {
   readonly offset: Offset;
   readonly record: ChainRecord;
 }
 
-/** One chain together with what is needed to correct it while the table catches up. */
+/** A chain together with the data that corrects it while the table catches up. */
 export interface TableChain {
   state: ChainState;
   /** State that contains every record below `baseAsOf`; undefined without known history. */
   base: ChainState | undefined;
   baseAsOf: Offset;
-  /** Records from `baseAsOf` on, kept only while the table catches up. */
-  recent: Placed[];
+  /** Records at `baseAsOf` and above, kept only while the table catches up. */
+  recordsSinceBase: LoggedRecord[];
   /** Offset of the last record that changed the chain. */
   lastOffset: Offset;
   /** The chain can be rebuilt from the records at this offset and above. */
-  coverOffset: Offset;
-  /** Writer's time of the record at `coverOffset`. */
-  coverAt: Millis;
+  oldestNeededOffset: Offset;
+  /** Time of the record at `oldestNeededOffset`, by its writer's clock. */
+  oldestNeededAt: Millis;
 }
 
 /**
- * Intent chains of all kept keys. The maps hold up to several hundred thousand keys, so this module
- * updates them in place; other modules only read them.
+ * Intent chains of all keys that have not expired. The maps hold up to several hundred thousand
+ * keys, so this module updates them in place; other modules only read them.
  */
 export interface IntentTable {
   readonly settings: KeySettings;
-  /** While the table is exact, in the order of `coverOffset`: the chains due first come first. */
+  /** Ordered by `oldestNeededOffset` while the table is exact: chains due first come first. */
   readonly chains: Map<string, TableChain>;
-  /** Where the search for expired chains goes on. */
+  /** Position of the expiry sweep; null between two sweeps. */
   sweep: Iterator<TableChain> | null;
-  readonly texts: SharedTexts;
+  readonly texts: StringPool;
   standing: TableStanding;
   nextOffset: Offset;
   untimedKeys: number;
 }
 
-/** Answer of one read of the stream, with its records already checked. */
+/** Result of one read of the stream, with its records already parsed. */
 export interface IntentBatch {
   readonly firstOffset: Offset;
   readonly nextOffset: Offset;
   readonly records: readonly { readonly offset: Offset; readonly record: IntentStreamRecord }[];
-  /** `reached` when the read returned everything that the stream held. */
+  /** `reached` when the read returned everything up to the end of the stream. */
   readonly end: 'reached' | 'more';
 }
 
 /**
- * Creates the table of a daemon that has read nothing yet.
+ * Creates the table of a daemon that has not read the stream yet.
  *
- * @param settings - kept window and bound of untimed keys
+ * @param settings - key window and bounds on the number of keys
  * @returns an empty table that is catching up
  */
 export const createIntentTable = (settings: KeySettings): IntentTable => ({
@@ -78,18 +78,18 @@
   untimedKeys: 0,
 });
 
-/** Shared by all chains, because only a table that catches up keeps records. */
-const NO_RECORDS: Placed[] = [];
+/** Shared by all chains, because records are kept only while the table catches up. */
+const NO_RECORDS: LoggedRecord[] = [];
 
 const toChainId = (customer: CustomerId, key: string): string => `${customer}\u0000${key}`;
 
 /**
  * Finds the chain of a key.
  *
- * @param table - the table
+ * @param table - intent table
  * @param customer - owner of the key
  * @param key - the caller's key
- * @returns the chain's state, or undefined when the key is new
+ * @returns state of the chain, or undefined when the key is unknown
  */
 export const findChain = (
   table: IntentTable,
@@ -100,8 +100,8 @@
 /**
  * Counts the keys of a table.
  *
- * @param table - the table
- * @returns numbers of keys with and without a time of issue
+ * @param table - intent table
+ * @returns the number of keys with and without a time of issue
  */
 export const countKeys = (table: IntentTable): KeptKeys => ({
   timed: table.chains.size - table.untimedKeys,
@@ -118,10 +118,10 @@
     state,
     base: undefined,
     baseAsOf: 0,
-    recent: NO_RECORDS,
+    recordsSinceBase: NO_RECORDS,
     lastOffset: offset,
-    coverOffset: offset,
-    coverAt: at,
+    oldestNeededOffset: offset,
+    oldestNeededAt: at,
   };
   table.chains.set(toChainId(state.customer, state.key), chain);
   if (state.issuedAt === null) table.untimedKeys += 1;
@@ -133,24 +133,24 @@
   if (state.issuedAt === null) table.untimedKeys -= 1;
 };
 
-const foldPlain = (table: IntentTable, offset: Offset, record: ChainRecord): FoldResult => {
+const foldChainRecord = (table: IntentTable, offset: Offset, record: ChainRecord): FoldResult => {
   const known = table.chains.get(toChainId(record.customer, record.key));
   const chain = known ?? addChain(table, createChainState(record), offset, record.at);
   const fold = foldChain(chain.state, record);
   if (fold.state !== chain.state) chain.lastOffset = offset;
   chain.state = fold.state;
   if (table.standing === 'catching-up') {
-    if (chain.recent === NO_RECORDS) chain.recent = [];
-    chain.recent.push({ offset, record });
+    if (chain.recordsSinceBase === NO_RECORDS) chain.recordsSinceBase = [];
+    chain.recordsSinceBase.push({ offset, record });
   }
   return fold.result;
 };
 
-const replayRecords = (base: ChainState, recent: readonly Placed[]): ChainState =>
-  recent.reduce((state, { record }) => foldChain(state, record).state, base);
+const replayRecords = (base: ChainState, records: readonly LoggedRecord[]): ChainState =>
+  records.reduce((state, { record }) => foldChain(state, record).state, base);
 
-/** Puts a carried state under the records that were read without their history. */
-const applyCarried = (
+/** Rebuilds a chain from its snapshot and the records that were read without their history. */
+const applyCarryForward = (
   table: IntentTable,
   chain: TableChain,
   offset: Offset,
@@ -160,16 +160,16 @@
   if (chain.state.issuedAt === null) table.untimedKeys -= 1;
   chain.base = toChainState(record);
   chain.baseAsOf = record.asOf;
-  chain.recent = chain.recent.filter((placed) => placed.offset >= record.asOf);
-  chain.state = replayRecords(chain.base, chain.recent);
+  chain.recordsSinceBase = chain.recordsSinceBase.filter((logged) => logged.offset >= record.asOf);
+  chain.state = replayRecords(chain.base, chain.recordsSinceBase);
   if (chain.state.issuedAt === null) table.untimedKeys += 1;
-  const first = chain.recent[0];
-  chain.lastOffset = chain.recent.at(-1)?.offset ?? record.asOf - 1;
-  chain.coverOffset = first?.offset ?? offset;
-  chain.coverAt = first?.record.at ?? record.at;
+  const first = chain.recordsSinceBase[0];
+  chain.lastOffset = chain.recordsSinceBase.at(-1)?.offset ?? record.asOf - 1;
+  chain.oldestNeededOffset = first?.offset ?? offset;
+  chain.oldestNeededAt = first?.record.at ?? record.at;
 };
 
-const foldCarried = (
+const foldCarryForward = (
   table: IntentTable,
   offset: Offset,
   record: CarryForwardRecord,
@@ -177,10 +177,10 @@
   const known = table.chains.get(toChainId(record.customer, record.key));
   const chain = known ?? addChain(table, toChainState(record), offset, record.at);
   if (table.standing === 'catching-up') {
-    applyCarried(table, chain, offset, record);
+    applyCarryForward(table, chain, offset, record);
   } else if (record.asOf > chain.lastOffset) {
-    chain.coverOffset = offset;
-    chain.coverAt = record.at;
+    chain.oldestNeededOffset = offset;
+    chain.oldestNeededAt = record.at;
     const id = toChainId(record.customer, record.key);
     table.chains.delete(id);
     table.chains.set(id, chain);
@@ -189,14 +189,14 @@
 };
 
 /**
- * Folds one record in log order. A record below the table's offset was folded before and is
+ * Folds one record in log order. A record below the table's next offset was folded before and is
  * ignored.
  *
- * @param table - the table, updated in place
+ * @param table - intent table, updated in place
  * @param offset - offset of the record
- * @param record - the checked record
- * @param now - current instant, for expiry
- * @returns what the record did
+ * @param record - parsed record
+ * @param now - current time, for expiry
+ * @returns effect of the record
  */
 export const foldIntentRecord = (
   table: IntentTable,
@@ -207,19 +207,19 @@
   if (offset < table.nextOffset) return 'ignored';
   table.nextOffset = offset + 1;
   if (isKeyExpired(record.issuedAt, now, table.settings)) return 'expired';
-  const shared = takeSharedTexts(table.texts, record);
+  const shared = applyStringPool(table.texts, record);
   return shared.kind === 'carry-forward'
-    ? foldCarried(table, offset, shared)
-    : foldPlain(table, offset, shared);
+    ? foldCarryForward(table, offset, shared)
+    : foldChainRecord(table, offset, shared);
 };
 
-/** Retention dropped unread records, so states are exact only up to the table's offset. */
+/** Handles records dropped unread by retention: states are exact only up to the old offset. */
 const openGap = (table: IntentTable, firstOffset: Offset): void => {
   if (table.standing === 'exact') {
     for (const chain of table.chains.values()) {
       chain.base = chain.state;
       chain.baseAsOf = table.nextOffset;
-      chain.recent = NO_RECORDS;
+      chain.recordsSinceBase = NO_RECORDS;
     }
   }
   table.standing = 'catching-up';
@@ -230,25 +230,25 @@
   if (table.standing === 'exact') return;
   table.standing = 'exact';
   const ordered = [...table.chains].sort(
-    ([, left], [, right]) => left.coverOffset - right.coverOffset,
+    ([, left], [, right]) => left.oldestNeededOffset - right.oldestNeededOffset,
   );
   table.chains.clear();
   for (const [id, chain] of ordered) {
     chain.base = undefined;
-    chain.recent = NO_RECORDS;
+    chain.recordsSinceBase = NO_RECORDS;
     table.chains.set(id, chain);
   }
 };
 
 /**
- * Folds the answer of one read. A gap below `firstOffset` makes the table inexact until a read
- * reaches the end of the stream: the records that carry the dropped chains forward were appended
- * before the drop, so they lie before that end.
+ * Folds the result of one read. When retention dropped unread records below `firstOffset`, the
+ * table is inexact until a read reaches the end of the stream: the carry-forward records of the
+ * dropped chains were appended before the drop, so they lie before that end.
  *
- * @param table - the table, updated in place
+ * @param table - intent table, updated in place
  * @param batch - records and bounds of the read
- * @param now - current instant
- * @returns what each record did, in order
+ * @param now - current time
+ * @returns effect of each record, in order
  */
 export const foldIntentBatch = (
   table: IntentTable,
@@ -264,17 +264,21 @@
   return results;
 };
 
-/** A chain that holds only early abandoned nonces; without it their intents cost a fence. */
-const isForgotten = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
-  chain.state.link === null && now > chain.coverAt + settings.keyWindowMs;
+/**
+ * Chains with only early abandoned nonces expire after the key window by the time of their oldest
+ * record. Without the chain, an intent of such a nonce only costs a fence request.
+ */
+const isExpiredEmptyChain = (chain: TableChain, now: Millis, settings: KeySettings): boolean =>
+  chain.state.link === null && now > chain.oldestNeededAt + settings.keyWindowMs;
 
 /**
- * Drops chains of expired keys. A call visits a bounded number of chains and the next one goes on
- * from there, because a visit of several hundred thousand chains would hold up the loop.
+ * Drops chains of expired keys. Each call visits a bounded number of chains and the next call
+ * resumes there, because visiting several hundred thousand chains at once would block the event
+ * loop.
  *
- * @param table - the table, updated in place
- * @param now - current instant
- * @param maxVisits - number of chains to look at
+ * @param table - intent table, updated in place
+ * @param now - current time
+ * @param maxVisits - maximum number of chains to visit
  * @returns number of dropped chains
  */
 export const expireChains = (
@@ -292,7 +296,10 @@
       return dropped;
     }
     const chain = next.value;
-    if (isKeyExpired(chain.state.issuedAt, now, settings) || isForgotten(chain, now, settings)) {
+    if (
+      isKeyExpired(chain.state.issuedAt, now, settings) ||
+      isExpiredEmptyChain(chain, now, settings)
+    ) {
       removeChain(table, chain.state);
       dropped += 1;
     }
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -1,6 +1,6 @@
 import { decideNonce } from '../nonces.js';
 import type { DispatchResult, FenceResult, NoncePlace } from '../types.js';
-import type { EndpointModel, Fault, World } from './types.js';
+import type { EndpointModel, Fault, Simulation } from './types.js';
 import { addTask, recordExecution } from './world.js';
 import { createFailure } from '../../../core/verdict.js';
 
@@ -18,16 +18,16 @@
 
 const REFUSED: DispatchResult = {
   kind: 'refused',
-  failure: createFailure('not-run', 'overloaded', 'the engine has no room'),
+  failure: createFailure('not-run', 'overloaded', 'the engine has no free capacity'),
 };
 
 /**
- * The endpoint runs the work, then its answer is stored and sent; a restart in between loses it. The
- * endpoint may also refuse the work, the link to the entry daemon may break while the work runs, as
- * in mid-stream, and the answer may be too large to be stored.
+ * Runs a call, then stores and sends its answer; a restart in between loses the answer. Faults make
+ * the endpoint refuse the call, break the connection to the entry daemon while the call runs, as in
+ * mid-stream, or make the answer too large to be stored.
  */
 const runCall = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
@@ -35,7 +35,7 @@
 ): void => {
   const { table } = endpoint;
   const { nonce } = place;
-  addTask(world, (atStart) => {
+  addTask(simulation, (atStart) => {
     if (endpoint.table !== table) {
       reply(LOST);
       return;
@@ -45,17 +45,17 @@
       reply(REFUSED);
       return;
     }
-    recordExecution(world, nonce, key);
-    // The entry daemon acts on its first reply only.
+    recordExecution(simulation, nonce, key);
+    // The entry daemon handles only the first reply.
     if (atStart === 'lose-answer') reply(LOST);
-    addTask(world, (fault) => {
+    addTask(simulation, (fault) => {
       const answer = buildAnswer(place);
       const { status, bodyDigest } = answer;
       decideNonce(
         table,
         fault === 'late'
           ? { kind: 'finish-without-answer', nonce, status, bodyDigest }
-          : { kind: 'finish', nonce, answer, now: world.now },
+          : { kind: 'finish', nonce, answer, now: simulation.now },
       );
       const lost = endpoint.table !== table || fault === 'lose-answer';
       reply(lost ? LOST : { kind: 'answered', answer });
@@ -64,14 +64,17 @@
 };
 
 const receiveDispatch = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
   reply: (result: DispatchResult) => void,
 ): void => {
   if (endpoint.accepting === 'draining') {
-    reply({ kind: 'refused', failure: createFailure('not-run', 'draining', 'leaving') });
+    reply({
+      kind: 'refused',
+      failure: createFailure('not-run', 'draining', 'the endpoint is draining'),
+    });
     return;
   }
   const { nonce, incarnation } = place;
@@ -79,10 +82,10 @@
     kind: 'start',
     nonce,
     incarnation,
-    now: world.now,
+    now: simulation.now,
   });
   if (decision.kind === 'run') {
-    runCall(world, endpoint, place, key, reply);
+    runCall(simulation, endpoint, place, key, reply);
     return;
   }
   if (decision.kind !== 'refuse') return;
@@ -92,9 +95,9 @@
   );
 };
 
-/** Sends a dispatch over a network that can lose or delay it and its reply. */
+/** Sends a dispatch over a network that can lose or delay the request and its reply. */
 export const sendDispatch = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   key: string,
@@ -102,32 +105,36 @@
   reply: (result: DispatchResult) => void,
 ): void => {
   if (fault === 'none') {
-    addTask(world, () => {
-      receiveDispatch(world, endpoint, place, key, reply);
+    addTask(simulation, () => {
+      receiveDispatch(simulation, endpoint, place, key, reply);
     });
     return;
   }
   if (fault !== 'lose-request') {
-    // The sender gives up while the message is still on its way.
-    addTask(world, () => {
-      receiveDispatch(world, endpoint, place, key, () => undefined);
+    // The sender times out while the message is still in transit.
+    addTask(simulation, () => {
+      receiveDispatch(simulation, endpoint, place, key, () => undefined);
     });
   }
   reply(LOST);
 };
 
-const fenceModel = (world: World, endpoint: EndpointModel, place: NoncePlace): FenceResult => {
+const performFence = (
+  simulation: Simulation,
+  endpoint: EndpointModel,
+  place: NoncePlace,
+): FenceResult => {
   const { nonce, incarnation } = place;
   const { table } = endpoint;
-  const forgets = world.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
-  if (forgets && table.incarnation === incarnation) return { kind: 'fenced' };
-  const decision = decideNonce(table, { kind: 'fence', nonce, incarnation, now: world.now });
+  const isFenceNotStored = simulation.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
+  if (isFenceNotStored && table.incarnation === incarnation) return { kind: 'fenced' };
+  const decision = decideNonce(table, { kind: 'fence', nonce, incarnation, now: simulation.now });
   return decision.kind === 'fence' ? decision.result : { kind: 'unreachable' };
 };
 
-/** Sends a fence over the same network. */
+/** Sends a fence request over the same network. */
 export const sendFence = (
-  world: World,
+  simulation: Simulation,
   endpoint: EndpointModel,
   place: NoncePlace,
   fault: Fault,
@@ -137,8 +144,8 @@
     reply({ kind: 'unreachable' });
     return;
   }
-  addTask(world, (later) => {
-    const result = fenceModel(world, endpoint, place);
+  addTask(simulation, (later) => {
+    const result = performFence(simulation, endpoint, place);
     reply(fault === 'none' && later === 'none' ? result : { kind: 'unreachable' });
   });
 };
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { appendCarried, readEntry, startModelRequest } from './entryModel.js';
+import { appendCarryForward, readEntry, startModelRequest } from './entryModel.js';
 import type {
   Command,
   EndpointModel,
@@ -7,13 +7,13 @@
   Fault,
   LogMode,
   Mechanisms,
+  Simulation,
   Task,
-  World,
 } from './types.js';
 import {
   updateTime,
-  createWorld,
-  addLate,
+  createSimulation,
+  addLateAppend,
   restartEndpoint,
   restartEntry,
   pruneLog,
@@ -29,7 +29,7 @@
   { weight: 1, arbitrary: fc.constant('late' as const) },
 );
 
-/** How often each command occurs; `retention` restarts entry daemons on a log that was cut. */
+/** Weights of the commands; `retention` often restarts entry daemons on a trimmed log. */
 export type Profile = 'faults' | 'retention';
 
 type Weights = Readonly<Record<Command['kind'], number>>;
@@ -41,12 +41,12 @@
     read: 20,
     advance: 6,
     pause: 2,
-    wake: 3,
+    resume: 3,
     'restart-entry': 1,
     'restart-endpoint': 1,
     'drain-endpoint': 1,
     log: 2,
-    land: 2,
+    deliver: 2,
     carry: 4,
     trim: 3,
   };
@@ -67,7 +67,7 @@
     case 'step':
       return fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 30 }), fault });
     case 'request':
-      // One request in ten has other content under its key.
+      // One request in ten has different content under its key.
       return fc.record({
         kind: fc.constant(kind),
         entry,
@@ -75,14 +75,14 @@
         content: fc.nat({ max: 9 }).map((value) => (value === 9 ? 1 : 0)),
       });
     case 'advance':
-      // The longest step expires the timed keys and every nonce.
+      // The longest step expires the timed keys and all nonces.
       return fc.record({
         kind: fc.constant(kind),
         ms: fc.constantFrom(100, 300, 300, 1_000, 1_000, 3_000, 10_000, 420_000),
       });
     case 'read':
     case 'pause':
-    case 'wake':
+    case 'resume':
     case 'restart-entry':
     case 'carry':
       return fc.record({ kind: fc.constant(kind), entry });
@@ -91,7 +91,7 @@
       return fc.record({ kind: fc.constant(kind), endpoint });
     case 'log':
       return fc.record({ kind: fc.constant(kind), mode: logMode });
-    case 'land':
+    case 'deliver':
     case 'trim':
       return fc.constant({ kind });
     default:
@@ -100,10 +100,10 @@
 };
 
 /**
- * Builds lists of commands for one run.
+ * Builds the arbitrary that generates the commands of one run.
  *
- * @param profile - how often each command occurs
- * @returns the arbitrary list
+ * @param profile - weights of the commands
+ * @returns arbitrary of command lists
  */
 export const buildCommandList = (profile: Profile): fc.Arbitrary<Command[]> => {
   const weights = Object.entries(getWeights(profile)) as [Command['kind'], number][];
@@ -113,123 +113,127 @@
   return fc.array(command, { minLength: 40, maxLength: 240, size: 'max' });
 };
 
-const isRunnable = (world: World, task: Task): boolean => {
-  if (task.dueAt > world.now) return false;
-  return task.owner === null || world.entries[task.owner]?.activity === 'running';
+const isRunnable = (simulation: Simulation, task: Task): boolean => {
+  if (task.dueAt > simulation.now) return false;
+  return task.owner === null || simulation.entries[task.owner]?.activity === 'running';
 };
 
-const runTask = (world: World, pick: number, taskFault: Fault): 'ran' | 'idle' => {
-  const stale = ({ owner, life }: Task): boolean =>
-    owner !== null && world.entries[owner]?.life !== life;
-  for (let index = world.tasks.length - 1; index >= 0; index -= 1) {
-    if (stale(world.tasks[index] as Task)) world.tasks.splice(index, 1);
+const runTask = (simulation: Simulation, pick: number, taskFault: Fault): 'ran' | 'idle' => {
+  const isStale = ({ owner, epoch }: Task): boolean =>
+    owner !== null && simulation.entries[owner]?.epoch !== epoch;
+  for (let index = simulation.tasks.length - 1; index >= 0; index -= 1) {
+    if (isStale(simulation.tasks[index] as Task)) simulation.tasks.splice(index, 1);
   }
-  const runnable = world.tasks.filter((task) => isRunnable(world, task));
+  const runnable = simulation.tasks.filter((task) => isRunnable(simulation, task));
   const task = runnable[pick % Math.max(1, runnable.length)];
   if (task === undefined) return 'idle';
-  world.tasks.splice(world.tasks.indexOf(task), 1);
+  simulation.tasks.splice(simulation.tasks.indexOf(task), 1);
   task.run(taskFault);
   return 'ran';
 };
 
-const applyCommand = (world: World, next: Command): void => {
+const applyCommand = (simulation: Simulation, next: Command): void => {
   switch (next.kind) {
     case 'request':
-      startModelRequest(world, next.entry, next.key, next.content);
+      startModelRequest(simulation, next.entry, next.key, next.content);
       return;
     case 'step':
-      runTask(world, next.pick, next.fault);
+      runTask(simulation, next.pick, next.fault);
       return;
     case 'advance':
-      updateTime(world, next.ms);
+      updateTime(simulation, next.ms);
       return;
     case 'read':
-      readEntry(world, next.entry);
+      readEntry(simulation, next.entry);
       return;
     case 'pause':
-      (world.entries[next.entry] as EntryModel).activity = 'paused';
+      (simulation.entries[next.entry] as EntryModel).activity = 'paused';
       return;
-    case 'wake':
-      (world.entries[next.entry] as EntryModel).activity = 'running';
+    case 'resume':
+      (simulation.entries[next.entry] as EntryModel).activity = 'running';
       return;
     case 'restart-entry':
-      restartEntry(world.entries[next.entry] as EntryModel);
+      restartEntry(simulation.entries[next.entry] as EntryModel);
       return;
     case 'restart-endpoint':
-      restartEndpoint(world.endpoints[next.endpoint] as EndpointModel);
+      restartEndpoint(simulation.endpoints[next.endpoint] as EndpointModel);
       return;
     case 'drain-endpoint': {
-      const model = world.endpoints[next.endpoint] as EndpointModel;
+      const model = simulation.endpoints[next.endpoint] as EndpointModel;
       model.accepting = model.accepting === 'accepting' ? 'draining' : 'accepting';
       return;
     }
     case 'log':
-      world.log.mode = next.mode;
+      simulation.log.mode = next.mode;
       return;
-    case 'land':
-      addLate(world);
+    case 'deliver':
+      addLateAppend(simulation);
       return;
     case 'carry':
-      appendCarried(world, next.entry);
+      appendCarryForward(simulation, next.entry);
       return;
     case 'trim':
-      pruneLog(world);
+      pruneLog(simulation);
       return;
     default:
       assertNever(next);
   }
 };
 
-/** Ends all faults and runs until every task is done. */
-const settleWorld = (world: World): void => {
-  world.log.mode = 'up';
-  for (const model of world.entries) model.activity = 'running';
-  while (world.log.late.length > 0) addLate(world);
-  for (let round = 0; round < 400 && world.tasks.length > 0; round += 1) {
-    for (let task = 0; task < 2_000 && runTask(world, 0, 'none') === 'ran'; task += 1);
-    world.entries.forEach((_, index) => {
-      readEntry(world, index);
+/** Ends all faults and runs the remaining tasks, within a bounded number of rounds. */
+const drainSimulation = (simulation: Simulation): void => {
+  simulation.log.mode = 'up';
+  for (const model of simulation.entries) model.activity = 'running';
+  while (simulation.log.lateAppends.length > 0) addLateAppend(simulation);
+  for (let round = 0; round < 400 && simulation.tasks.length > 0; round += 1) {
+    for (let task = 0; task < 2_000 && runTask(simulation, 0, 'none') === 'ran'; task += 1);
+    simulation.entries.forEach((_, index) => {
+      readEntry(simulation, index);
     });
-    updateTime(world, 200);
+    updateTime(simulation, 200);
   }
 };
 
-const checkReplies = (world: World): void => {
-  for (const [requestId, reply] of world.replies) {
-    const key = world.keyOfRequest.get(requestId) as string;
-    const runs = world.executionsByKey.get(key) ?? 0;
-    const own = [...world.owners].filter(([, owner]) => owner === requestId);
-    const ownRan = own.some(([nonce]) => world.executedNonces.has(nonce));
-    const told = reply.kind === 'failure' ? reply.verdict : 'ran';
-    if (told === 'not-run' && ownRan)
-      world.violations.push(`${requestId} was told not-run and ran`);
-    if (told === 'ran' && runs !== 1) {
-      world.violations.push(`${requestId} was told ran, and its key ran ${runs.toString()} times`);
+const checkReplies = (simulation: Simulation): void => {
+  for (const [requestId, reply] of simulation.replies) {
+    const key = simulation.keyOfRequest.get(requestId) as string;
+    const runs = simulation.executionsByKey.get(key) ?? 0;
+    const own = [...simulation.owners].filter(([, owner]) => owner === requestId);
+    const ownRan = own.some(([nonce]) => simulation.executedNonces.has(nonce));
+    const reportedVerdict = reply.kind === 'failure' ? reply.verdict : 'ran';
+    if (reportedVerdict === 'not-run' && ownRan)
+      simulation.violations.push(`${requestId} was told not-run and ran`);
+    if (reportedVerdict === 'ran' && runs !== 1) {
+      simulation.violations.push(
+        `${requestId} was told ran, and its key ran ${runs.toString()} times`,
+      );
     }
   }
 };
 
-const checkFinished = (world: World): void => {
-  for (const model of world.entries) {
+const checkFinished = (simulation: Simulation): void => {
+  for (const model of simulation.entries) {
     for (const [requestId, state] of model.requests) {
-      if (state.kind !== 'finished') world.violations.push(`${requestId} is left ${state.kind}`);
-      if (!world.replies.has(requestId)) world.violations.push(`${requestId} got no reply`);
+      if (state.kind !== 'finished')
+        simulation.violations.push(`${requestId} is left ${state.kind}`);
+      if (!simulation.replies.has(requestId))
+        simulation.violations.push(`${requestId} got no reply`);
     }
   }
 };
 
 /**
- * Runs a list of commands and then all that is left, without faults.
+ * Runs a list of commands and then all remaining tasks, without faults.
  *
- * @param commands - what happens
- * @param mechanisms - which mechanisms are in place
- * @returns the world with the violations that the oracle found
+ * @param commands - commands in order
+ * @param mechanisms - mechanisms that are enabled or disabled
+ * @returns the simulation with the violations that the oracle found
  */
-export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): World => {
-  const world = createWorld(mechanisms);
-  for (const next of commands) applyCommand(world, next);
-  settleWorld(world);
-  checkReplies(world);
-  checkFinished(world);
-  return world;
+export const runCommands = (commands: readonly Command[], mechanisms: Mechanisms): Simulation => {
+  const simulation = createSimulation(mechanisms);
+  for (const next of commands) applyCommand(simulation, next);
+  drainSimulation(simulation);
+  checkReplies(simulation);
+  checkFinished(simulation);
+  return simulation;
 };
