Rename the symbols of idempotency decisions to terms of the field

The old names were private to the project or did not say what the code holds.

- KeptKeys -> KeyCounts
- kept -> keyCounts
- NoncePlace -> NoncePlacement
- answerKeepMs -> answerRetentionMs
- visits -> expiryVisits
- carried -> maxCarried
- answerKeepMs -> answerRetentionMs
- answerKeepMs -> answerRetentionMs

--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -59,7 +59,7 @@
 
 export const DEFAULT_NONCE_SETTINGS: NonceSettings = {
   windowMs: 24 * 3_600_000,
-  answerKeepMs: 15 * 60_000,
+  answerRetentionMs: 15 * 60_000,
   maxAnswerBytes: 32 * 1024 * 1024,
   maxEntries: 200_000,
 };
--- a/packages/decisions/idempotency/intent.test.ts
+++ b/packages/decisions/idempotency/intent.test.ts
@@ -26,7 +26,7 @@
   standing: 'exact',
   nextOffset: 0,
   chain: undefined,
-  kept: { timed: 0, untimed: 0 },
+  keyCounts: { timed: 0, untimed: 0 },
   keys: { keyWindowMs: 1_000, maxUntimedKeys: 10, maxTimedKeys: 10 },
   limits: DEFAULT_INTENT_LIMITS,
 };
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -41,7 +41,7 @@
 });
 
 const startRequest = (state: IntentState, view: IntentView): IntentStep => {
-  const check = checkKey(state.request, view.chain, view.kept, view.now, view.keys);
+  const check = checkKey(state.request, view.chain, view.keyCounts, view.now, view.keys);
   if (check.isErr()) return closeRequest(state, { kind: 'fail', failure: check.error });
   return resolveChain(state, view);
 };
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -11,7 +11,7 @@
   IntentTimer,
   IntentView,
   Nonce,
-  NoncePlace,
+  NoncePlacement,
   Outcome,
   OutcomeRecord,
   EndpointIncarnation,
@@ -182,7 +182,7 @@
  */
 export const fenceAtEndpoint = (
   state: IntentState,
-  place: NoncePlace,
+  place: NoncePlacement,
   purpose: FencePurpose,
 ): IntentStep =>
   toStep(
@@ -190,7 +190,7 @@
     { kind: 'fence', ...place },
   );
 
-const toPlace = ({ nonce, endpoint, incarnation }: ChainLink): NoncePlace => ({
+const toPlace = ({ nonce, endpoint, incarnation }: ChainLink): NoncePlacement => ({
   nonce,
   endpoint,
   incarnation,
--- a/packages/decisions/idempotency/keys.ts
+++ b/packages/decisions/idempotency/keys.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { validate, version } from 'uuid';
 import { CLOCK_MARGIN_MS } from './constants.js';
-import type { ChainState, KeptKeys, KeySettings, KeyedRequest } from './types.js';
+import type { ChainState, KeyCounts, KeySettings, KeyedRequest } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
@@ -95,7 +95,7 @@
 export const checkKey = (
   request: KeyedRequest,
   chain: ChainState | undefined,
-  keyCounts: KeptKeys,
+  keyCounts: KeyCounts,
   now: Millis,
   settings: KeySettings,
 ): Result<'accepted', Failure> => {
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -4,7 +4,7 @@
 import { createModelId } from './testing/world.js';
 import type { NonceEvent } from './types.js';
 
-const SETTINGS = { windowMs: 1_000, answerKeepMs: 100, maxAnswerBytes: 10, maxEntries: 4 };
+const SETTINGS = { windowMs: 1_000, answerRetentionMs: 100, maxAnswerBytes: 10, maxEntries: 4 };
 const simulation = { sequence: 0 };
 
 const createTable = () => createNonceTable('i', SETTINGS);
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -148,7 +148,7 @@
   if (entry?.kind !== 'started') return { kind: 'kept' };
   const { status, bodyDigest } = answer;
   table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
-  table.answers.set(nonce, { answer, expiresAt: now + table.settings.answerKeepMs });
+  table.answers.set(nonce, { answer, expiresAt: now + table.settings.answerRetentionMs });
   table.answerBytes += answer.body.byteLength;
   for (const oldest of table.answers.keys()) {
     if (table.answerBytes <= table.settings.maxAnswerBytes) break;
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -9,7 +9,7 @@
   ChainState,
   FoldResult,
   IntentStreamRecord,
-  KeptKeys,
+  KeyCounts,
   KeySettings,
   TableStanding,
 } from './types.js';
@@ -103,7 +103,7 @@
  * @param table - intent table
  * @returns the number of keys with and without a time of issue
  */
-export const countKeys = (table: IntentTable): KeptKeys => ({
+export const countKeys = (table: IntentTable): KeyCounts => ({
   timed: table.chains.size - table.untimedKeys,
   untimed: table.untimedKeys,
 });
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -1,5 +1,5 @@
 import { decideNonce } from '../nonces.js';
-import type { DispatchResult, FenceResult, NoncePlace } from '../types.js';
+import type { DispatchResult, FenceResult, NoncePlacement } from '../types.js';
 import type { EndpointModel, Fault, Simulation } from './types.js';
 import { addTask, recordExecution } from './world.js';
 import { createFailure } from '../../../core/verdict.js';
@@ -9,7 +9,7 @@
   failure: createFailure('may-have-run', 'endpoint-failed', 'connection lost'),
 };
 
-const buildAnswer = (place: NoncePlace) => ({
+const buildAnswer = (place: NoncePlacement) => ({
   status: 200,
   headers: [],
   body: new TextEncoder().encode(place.nonce),
@@ -29,7 +29,7 @@
 const runCall = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlace,
+  place: NoncePlacement,
   key: string,
   reply: (result: DispatchResult) => void,
 ): void => {
@@ -66,7 +66,7 @@
 const receiveDispatch = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlace,
+  place: NoncePlacement,
   key: string,
   reply: (result: DispatchResult) => void,
 ): void => {
@@ -99,7 +99,7 @@
 export const sendDispatch = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlace,
+  place: NoncePlacement,
   key: string,
   fault: Fault,
   reply: (result: DispatchResult) => void,
@@ -122,7 +122,7 @@
 const performFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlace,
+  place: NoncePlacement,
 ): FenceResult => {
   const { nonce, incarnation } = place;
   const { table } = endpoint;
@@ -136,7 +136,7 @@
 export const sendFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlace,
+  place: NoncePlacement,
   fault: Fault,
   reply: (result: FenceResult) => void,
 ): void => {
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -7,7 +7,7 @@
   IntentEvent,
   IntentState,
   IntentView,
-  NoncePlace,
+  NoncePlacement,
 } from '../types.js';
 import { sendDispatch, sendFence } from './endpointModel.js';
 import type { EndpointModel, EntryModel, Fault, Reply, Simulation } from './types.js';
@@ -45,7 +45,7 @@
     standing: simulation.mechanisms.readBack === 'disabled' ? 'exact' : table.standing,
     nextOffset: table.nextOffset,
     chain: applyReadBack(simulation, state, findChain(table, customer, key)),
-    kept: countKeys(table),
+    keyCounts: countKeys(table),
     keys: table.settings,
     limits: LIMITS,
   };
@@ -102,7 +102,7 @@
   }
 };
 
-const findEndpoint = (simulation: Simulation, place: NoncePlace): EndpointModel =>
+const findEndpoint = (simulation: Simulation, place: NoncePlacement): EndpointModel =>
   simulation.endpoints.find(({ id }) => id === place.endpoint) as EndpointModel;
 
 const performEffect = (
--- a/packages/decisions/idempotency/testing/world.ts
+++ b/packages/decisions/idempotency/testing/world.ts
@@ -13,7 +13,7 @@
 const KEYS = { keyWindowMs: WINDOW_MS, maxUntimedKeys: 100, maxTimedKeys: 100 };
 const NONCES = {
   windowMs: WINDOW_MS,
-  answerKeepMs: 5_000,
+  answerRetentionMs: 5_000,
   maxAnswerBytes: 64,
   maxEntries: 1_000,
 };
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -107,7 +107,7 @@
 }
 
 /** Number of keys in a table, by kind. */
-export interface KeptKeys {
+export interface KeyCounts {
   /** Keys with a time of issue. */
   readonly timed: number;
   /** Keys without a time of issue, which never expire. */
@@ -134,7 +134,7 @@
 }
 
 /** A nonce together with the only endpoint incarnation that can start it. */
-export interface NoncePlace extends EndpointIncarnation {
+export interface NoncePlacement extends EndpointIncarnation {
   readonly nonce: Nonce;
 }
 
@@ -199,14 +199,14 @@
   | { readonly kind: 'append-records'; readonly records: readonly ChainRecord[] }
   /** Requests a read of the stream up to its end. */
   | { readonly kind: 'read-stream' }
-  | ({ readonly kind: 'dispatch' } & NoncePlace)
-  | ({ readonly kind: 'fence' } & NoncePlace)
+  | ({ readonly kind: 'dispatch' } & NoncePlacement)
+  | ({ readonly kind: 'fence' } & NoncePlacement)
   | {
       readonly kind: 'answer';
       readonly answer: StoredAnswer;
       readonly source: 'own' | 'stored';
       /** The nonce that produced the answer. */
-      readonly place: NoncePlace;
+      readonly place: NoncePlacement;
     }
   /** The key ran, and its answer is no longer available. */
   | {
@@ -247,7 +247,7 @@
   /** Chain of the key, or undefined when the table has none. */
   readonly chain: ChainState | undefined;
   /** Number of keys in the table, checked against the bounds of `keys`. */
-  readonly kept: KeptKeys;
+  readonly keyCounts: KeyCounts;
   readonly keys: KeySettings;
   readonly limits: IntentLimits;
 }
@@ -283,12 +283,12 @@
     | { readonly kind: 'choosing' }
     | {
         readonly kind: 'settling';
-        readonly place: NoncePlace;
+        readonly place: NoncePlacement;
         readonly previous: Nonce | null;
         readonly append: AppendProgress;
       }
-    | { readonly kind: 'dispatched'; readonly place: NoncePlace }
-    | { readonly kind: 'fencing'; readonly place: NoncePlace; readonly purpose: FencePurpose }
+    | { readonly kind: 'dispatched'; readonly place: NoncePlacement }
+    | { readonly kind: 'fencing'; readonly place: NoncePlacement; readonly purpose: FencePurpose }
     | {
         readonly kind: 'recording';
         readonly records: readonly [ChainRecord];
@@ -312,7 +312,7 @@
   /** Age from which a nonce is never started. Its entry is dropped no earlier than at this age. */
   readonly windowMs: Millis;
   /** Time for which the answer of a finished nonce is retained. */
-  readonly answerKeepMs: Millis;
+  readonly answerRetentionMs: Millis;
   /** Maximum total size of the retained answers in bytes; the oldest are evicted first. */
   readonly maxAnswerBytes: number;
   /** Number of entries from which no further nonce is started. */
--- a/packages/decisions/idempotency/upkeep.test.ts
+++ b/packages/decisions/idempotency/upkeep.test.ts
@@ -51,7 +51,7 @@
   const rounds = Math.ceil((2 * (WINDOW_MS + CLOCK_MARGIN_MS + EXPIRY_SWEEP_MS)) / PERIOD_MS);
   const retainedMs = WINDOW_MS + CLOCK_MARGIN_MS + 2 * EXPIRY_SWEEP_MS;
   const bound = Math.ceil(retainedMs / PERIOD_MS) * CHAINS_PER_ROUND;
-  const largest = runRounds(rounds, (chains) => planUpkeep(chains, PERIOD_MS).visits);
+  const largest = runRounds(rounds, (chains) => planUpkeep(chains, PERIOD_MS).expiryVisits);
   const fixed = runRounds(rounds, () => 2_000);
   t.log(
     `largest table ${largest.toString()}, bound ${bound.toString()}, fixed ${fixed.toString()}`,
@@ -64,7 +64,7 @@
 // Guards against chains that retention drops before they are carried forward.
 test('every due chain is carried forward within one cycle', (t) => {
   const chains = 100_000;
-  const { carried } = planUpkeep(chains, PERIOD_MS);
+  const { maxCarried: carried } = planUpkeep(chains, PERIOD_MS);
   t.true(carried * Math.floor(CARRY_FORWARD_CYCLE_MS / PERIOD_MS) >= chains);
   const table = createIntentTable(SETTINGS);
   const records = buildIntents(0, 1_000, 0).map((record, offset) => ({ offset, record }));
--- a/packages/decisions/idempotency/upkeep.ts
+++ b/packages/decisions/idempotency/upkeep.ts
@@ -9,9 +9,9 @@
 /** Work of one upkeep round. */
 export interface UpkeepPlan {
   /** Number of chains to check for expiry. */
-  readonly visits: number;
+  readonly expiryVisits: number;
   /** Maximum number of chains to carry forward. */
-  readonly carried: number;
+  readonly maxCarried: number;
 }
 
 /**
@@ -24,6 +24,6 @@
  * @returns the number of chains to visit and to carry forward
  */
 export const planUpkeep = (chains: number, periodMs: Millis): UpkeepPlan => ({
-  visits: Math.max(MIN_EXPIRY_VISITS, Math.ceil((chains * periodMs) / EXPIRY_SWEEP_MS)),
-  carried: Math.max(MIN_CARRIED_CHAINS, Math.ceil((chains * periodMs) / CARRY_FORWARD_CYCLE_MS)),
+  expiryVisits: Math.max(MIN_EXPIRY_VISITS, Math.ceil((chains * periodMs) / EXPIRY_SWEEP_MS)),
+  maxCarried: Math.max(MIN_CARRIED_CHAINS, Math.ceil((chains * periodMs) / CARRY_FORWARD_CYCLE_MS)),
 });
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -124,7 +124,7 @@
   const { now } = clock;
   const nonces = createNonceTable(incarnation, {
     ...DEFAULT_NONCE_SETTINGS,
-    answerKeepMs: settings.answers.retentionMs,
+    answerRetentionMs: settings.answers.retentionMs,
     maxAnswerBytes: settings.answers.maxBytes,
   });
   return {
--- a/packages/entry/platform/intents/intents.ts
+++ b/packages/entry/platform/intents/intents.ts
@@ -104,13 +104,13 @@
     event: { to: 'intents', kind: 'upkeep' },
   };
   const plan = planUpkeep(state.table.chains.size, UPKEEP_MS);
-  expireChains(state.table, now, plan.visits);
+  expireChains(state.table, now, plan.expiryVisits);
   const { firstOffset } = state;
   const carried = planCarryForward(state.table, {
     firstOffset,
     now,
     carryAfterMs: CARRY_AFTER_MS,
-    maxRecords: plan.carried,
+    maxRecords: plan.maxCarried,
   });
   const appends = carried.map((record): EntryEffect => ({
     kind: 'post',
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, CustomerId, ModelName, RequestId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
-import type { ChainState, KeptKeys, TableStanding } from '../../decisions/idempotency/types.js';
+import type { ChainState, KeyCounts, TableStanding } from '../../decisions/idempotency/types.js';
 import type { OwnTable } from '../../decisions/placement/own.js';
 import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
 import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
@@ -44,7 +44,7 @@
     readonly log: 'up' | 'out';
     readonly standing: TableStanding;
     readonly nextOffset: number;
-    readonly kept: KeptKeys;
+    readonly kept: KeyCounts;
   };
   readonly own: OwnTable;
   readonly survival: SurvivalTable;
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -80,7 +80,7 @@
     log,
     standing,
     nextOffset,
-    kept,
+    keyCounts: kept,
     chain: inputs.findChain(state.request.customer, state.key),
     keys: inputs.limits,
     limits: DEFAULT_INTENT_LIMITS,
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -22,7 +22,7 @@
 import type { Failure } from '../../core/verdict.js';
 import type {
   DispatchResult,
-  NoncePlace,
+  NoncePlacement,
   StoredAnswer,
 } from '../../decisions/idempotency/types.js';
 import { decideDelivery } from '../../decisions/streams/delivery.js';
@@ -202,7 +202,7 @@
   state: KeyedState,
   request: GenerationRequest,
   answer: StoredAnswer,
-  place: NoncePlace,
+  place: NoncePlacement,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
   const { requestId, customer, model } = request;
