Name the survival estimates in terms of statistics

skew held third central moments, and *_MEMORY_OBSERVATIONS set the decay of old observations. They are thirdMoment, KEY_DECAY_OBSERVATIONS and CLASS_DECAY_OBSERVATIONS now; logAlive and grown are logSurvival and fullGrowth, Node is EstimateNode.

--- a/packages/decisions/survival/constants.ts
+++ b/packages/decisions/survival/constants.ts
@@ -8,10 +8,10 @@
 export const BUCKETS_PER_DOUBLING = 2;
 
 /** Generations after which old observations of one key weigh 1/e. */
-export const KEY_MEMORY_OBSERVATIONS = 500;
+export const KEY_DECAY_OBSERVATIONS = 500;
 
 /** The same for a class, which sees more generations and must outlast single customers. */
-export const CLASS_MEMORY_OBSERVATIONS = 2_000;
+export const CLASS_DECAY_OBSERVATIONS = 2_000;
 
 /** Generations of own evidence per bucket that weigh as much as the class's estimate. */
 export const SHRINKAGE_TO_CLASS = 8;
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -15,11 +15,11 @@
   readonly mean: Float64Array;
   readonly variance: Float64Array;
   /** Third central moments. */
-  readonly skew: Float64Array;
+  readonly thirdMoment: Float64Array;
   /** Change when no sequence ends before the step. */
-  readonly grown: Float64Array;
+  readonly fullGrowth: Float64Array;
   /** Logarithm of the probability that no sequence ends before the step. */
-  readonly logAlive: Float64Array;
+  readonly logSurvival: Float64Array;
 }
 
 /** Memory of an engine against which a change is tested, in tokens. */
@@ -42,37 +42,38 @@
 export const createMemoryChange = (): MemoryChange => ({
   mean: new Float64Array(FORECAST_STEPS_TOKENS.length),
   variance: new Float64Array(FORECAST_STEPS_TOKENS.length),
-  skew: new Float64Array(FORECAST_STEPS_TOKENS.length),
-  grown: new Float64Array(FORECAST_STEPS_TOKENS.length),
-  logAlive: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  thirdMoment: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  fullGrowth: new Float64Array(FORECAST_STEPS_TOKENS.length),
+  logSurvival: new Float64Array(FORECAST_STEPS_TOKENS.length),
 });
 
 /** Resets a change to zero, in place. */
 export const clearMemoryChange = (change: MemoryChange): void => {
   change.mean.fill(0);
   change.variance.fill(0);
-  change.skew.fill(0);
-  change.grown.fill(0);
-  change.logAlive.fill(0);
+  change.thirdMoment.fill(0);
+  change.fullGrowth.fill(0);
+  change.logSurvival.fill(0);
 };
 
 const applyOutcome = (
   change: MemoryChange,
   step: number,
   survival: number,
-  grown: number,
-  ended: number,
+  changeIfAlive: number,
+  changeIfEnded: number,
   count: number,
 ): void => {
-  const spread = grown - ended;
+  const spread = changeIfAlive - changeIfEnded;
   const variance = count * survival * (1 - survival) * spread * spread;
-  change.mean[step] = (change.mean[step] ?? 0) + count * (ended + survival * spread);
+  change.mean[step] = (change.mean[step] ?? 0) + count * (changeIfEnded + survival * spread);
   change.variance[step] = (change.variance[step] ?? 0) + variance;
-  change.skew[step] = (change.skew[step] ?? 0) + variance * (1 - 2 * survival) * spread;
-  change.grown[step] = (change.grown[step] ?? 0) + count * grown;
+  change.thirdMoment[step] =
+    (change.thirdMoment[step] ?? 0) + variance * (1 - 2 * survival) * spread;
+  change.fullGrowth[step] = (change.fullGrowth[step] ?? 0) + count * changeIfAlive;
   // A logarithm of 0 could not be taken out of the sum again.
-  change.logAlive[step] =
-    (change.logAlive[step] ?? 0) + count * Math.log(Math.max(survival, MIN_SURVIVAL));
+  change.logSurvival[step] =
+    (change.logSurvival[step] ?? 0) + count * Math.log(Math.max(survival, MIN_SURVIVAL));
 };
 
 /**
@@ -150,9 +151,11 @@
       0,
       (target.variance[step] ?? 0) + sign * (other.variance[step] ?? 0),
     );
-    target.skew[step] = (target.skew[step] ?? 0) + sign * (other.skew[step] ?? 0);
-    target.grown[step] = (target.grown[step] ?? 0) + sign * (other.grown[step] ?? 0);
-    target.logAlive[step] = (target.logAlive[step] ?? 0) + sign * (other.logAlive[step] ?? 0);
+    target.thirdMoment[step] =
+      (target.thirdMoment[step] ?? 0) + sign * (other.thirdMoment[step] ?? 0);
+    target.fullGrowth[step] = (target.fullGrowth[step] ?? 0) + sign * (other.fullGrowth[step] ?? 0);
+    target.logSurvival[step] =
+      (target.logSurvival[step] ?? 0) + sign * (other.logSurvival[step] ?? 0);
   }
 };
 
@@ -183,11 +186,11 @@
 const estimateStep = (free: number, change: MemoryChange, step: number): number => {
   const deviation = Math.sqrt(change.variance[step] ?? 0) + 1;
   const z = (free - (change.mean[step] ?? 0)) / deviation;
-  const skewness = (change.skew[step] ?? 0) / deviation ** 3;
+  const skewness = (change.thirdMoment[step] ?? 0) / deviation ** 3;
   const correction = (computeNormalDensity(z) * skewness * (z * z - 1)) / 6;
   const tail = Math.min(1, Math.max(0, computeNormalTail(z) + correction));
-  if ((change.grown[step] ?? 0) <= free) return tail;
-  return Math.max(tail, Math.exp(Math.min(0, change.logAlive[step] ?? 0)));
+  if ((change.fullGrowth[step] ?? 0) <= free) return tail;
+  return Math.max(tail, Math.exp(Math.min(0, change.logSurvival[step] ?? 0)));
 };
 
 /**
--- a/packages/decisions/survival/hazard.ts
+++ b/packages/decisions/survival/hazard.ts
@@ -180,7 +180,10 @@
  * @param generated - tokens so far
  * @returns mean and variance, both finite, and quantiles
  */
-export const estimateRemainingOf = (curve: HazardCurve, generated: number): RemainingEstimate => ({
+export const estimateRemainingTokens = (
+  curve: HazardCurve,
+  generated: number,
+): RemainingEstimate => ({
   ...computeRemaining(curve, generated),
   quantile: (p) => computeQuantile(curve, generated, p),
 });
--- a/packages/decisions/survival/survivalTable.ts
+++ b/packages/decisions/survival/survivalTable.ts
@@ -1,6 +1,6 @@
 import {
-  CLASS_MEMORY_OBSERVATIONS,
-  KEY_MEMORY_OBSERVATIONS,
+  CLASS_DECAY_OBSERVATIONS,
+  KEY_DECAY_OBSERVATIONS,
   MAX_TRACKED_CLASSES,
   MAX_TRACKED_KEYS,
   SHRINKAGE_TO_CLASS,
@@ -11,7 +11,7 @@
   computeUnknownSurvival,
   createHazardCounts,
   estimateCurve,
-  estimateRemainingOf,
+  estimateRemainingTokens,
   PRIOR_CURVE,
 } from './hazard.js';
 import type { HazardCounts, ObservedEnd } from './hazard.js';
@@ -36,32 +36,41 @@
 }
 
 /** Counts with the curve computed from them and from a parent's curve. */
-interface Node {
+interface EstimateNode {
   readonly counts: HazardCounts;
   curve: HazardCurve | undefined;
   parent: HazardCurve;
 }
 
-const createNode = (): Node => ({
+const createNode = (): EstimateNode => ({
   counts: createHazardCounts(),
   curve: undefined,
   parent: PRIOR_CURVE,
 });
 
-const getNodeCurve = (node: Node, parent: HazardCurve, strength: number): HazardCurve => {
+const getNodeCurve = (node: EstimateNode, parent: HazardCurve, strength: number): HazardCurve => {
   if (node.curve !== undefined && node.parent === parent) return node.curve;
   node.parent = parent;
   node.curve = estimateCurve(node.counts, parent, strength);
   return node.curve;
 };
 
-const updateNode = (node: Node, tokens: number, end: ObservedEnd, memory: number): void => {
-  applyObservation(node.counts, tokens, end, 1 - 1 / memory);
+const updateNode = (
+  node: EstimateNode,
+  tokens: number,
+  end: ObservedEnd,
+  decayObservations: number,
+): void => {
+  applyObservation(node.counts, tokens, end, 1 - 1 / decayObservations);
   node.curve = undefined;
 };
 
 /** Takes a node out of the map and puts it last, so that the first entry is the least recent. */
-const selectNode = (nodes: Map<string, Node>, name: string, bound: number): Node => {
+const selectNode = (
+  nodes: Map<string, EstimateNode>,
+  name: string,
+  bound: number,
+): EstimateNode => {
   const node = nodes.get(name) ?? createNode();
   nodes.delete(name);
   nodes.set(name, node);
@@ -85,9 +94,9 @@
 export const createSurvivalTable = (options: SurvivalOptions = {}): SurvivalTable => {
   const maxKeys = options.maxKeys ?? MAX_TRACKED_KEYS;
   const maxClasses = options.maxClasses ?? MAX_TRACKED_CLASSES;
-  const keys = new Map<string, Node>();
-  const classes = new Map<string, Node>();
-  const all = createNode();
+  const keys = new Map<string, EstimateNode>();
+  const classes = new Map<string, EstimateNode>();
+  const overall = createNode();
   const unknownSurvival = new Map<number, number>();
 
   const getCurve = (key: SurvivalKey): HazardCurve => {
@@ -100,9 +109,9 @@
 
   const observe = (key: SurvivalKey, tokens: number, end: ObservedEnd): void => {
     const classNode = selectNode(classes, key.className, maxClasses);
-    updateNode(classNode, tokens, end, CLASS_MEMORY_OBSERVATIONS);
-    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, end, KEY_MEMORY_OBSERVATIONS);
-    updateNode(all, tokens, end, CLASS_MEMORY_OBSERVATIONS);
+    updateNode(classNode, tokens, end, CLASS_DECAY_OBSERVATIONS);
+    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, end, KEY_DECAY_OBSERVATIONS);
+    updateNode(overall, tokens, end, CLASS_DECAY_OBSERVATIONS);
     unknownSurvival.clear();
   };
 
@@ -115,11 +124,11 @@
     observeCensored: (key, tokens) => {
       observe(key, tokens, 'censored');
     },
-    estimateRemaining: (key, generated) => estimateRemainingOf(getCurve(key), generated),
+    estimateRemaining: (key, generated) => estimateRemainingTokens(getCurve(key), generated),
     estimateUnknownSurvival: (tokens) => {
       const known = unknownSurvival.get(tokens);
       if (known !== undefined) return known;
-      const curve = getNodeCurve(all, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
+      const curve = getNodeCurve(overall, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
       const survival = computeUnknownSurvival(curve, tokens);
       unknownSurvival.set(tokens, survival);
       return survival;
