Say preempt instead of give up in preemption

giveUp, GiveUp and the decision kind give-up meant preemption by the daemon. They are preemptibility, Preemptibility and preempt now. The kind never leaves the module: only its test reads it, and changes with it.

--- a/packages/decisions/preemption/preemption.test.ts
+++ b/packages/decisions/preemption/preemption.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { computePriority, decidePreemption, getStallWeight } from './preemption.js';
-import type { GiveUp, MemoryHolder, PreemptionInputs } from './types.js';
+import type { Preemptibility, MemoryHolder, PreemptionInputs } from './types.js';
 import type { AnswerLength, Importance } from '../placement/types.js';
 import { createSurvivalTable } from '../survival/survivalTable.js';
 
@@ -21,7 +21,7 @@
   version: 'v1',
   promptTokens: 600,
   generated: 400,
-  giveUp: 'restartable',
+  preemptibility: 'restartable',
   ...changes,
 });
 
@@ -34,9 +34,9 @@
     buildHolder(id, id.startsWith('s') ? { targets: summary } : {}),
   );
   const decision = decidePreemption(INPUTS, holders);
-  t.is(decision.kind, 'give-up');
-  t.is(decision.kind === 'give-up' ? decision.requestIds.length : 0, 1);
-  t.regex(decision.kind === 'give-up' ? (decision.requestIds[0] ?? '') : '', /^s/);
+  t.is(decision.kind, 'preempt');
+  t.is(decision.kind === 'preempt' ? decision.requestIds.length : 0, 1);
+  t.regex(decision.kind === 'preempt' ? (decision.requestIds[0] ?? '') : '', /^s/);
 });
 
 // Guards against a stream that the caller has begun to read and that is cut off.
@@ -45,7 +45,7 @@
     fc.property(
       fc.array(
         fc.record({
-          giveUp: fc.constantFrom<GiveUp[]>('restartable', 'engine-only'),
+          preemptibility: fc.constantFrom<Preemptibility[]>('restartable', 'engine-only'),
           promptTokens: fc.integer({ min: 1, max: 4_000 }),
           generated: fc.nat(4_000),
         }),
@@ -56,9 +56,9 @@
         const holders = changes.map((change, index) => buildHolder(index.toString(), change));
         const decision = decidePreemption({ ...INPUTS, usedTokens }, holders);
         if (decision.kind === 'keep') return true;
-        const givenUp = new Set(decision.requestIds);
+        const preempted = new Set(decision.requestIds);
         return holders.every(
-          (holder) => !givenUp.has(holder.requestId) || holder.giveUp === 'restartable',
+          (holder) => !preempted.has(holder.requestId) || holder.preemptibility === 'restartable',
         );
       },
     ),
@@ -78,12 +78,15 @@
   );
   for (const left of classes) {
     for (const right of classes) {
-      const isDearer = getStallWeight(left) > getStallWeight(right);
+      const isCostlier = getStallWeight(left) > getStallWeight(right);
       t.is(
         computePriority(left, 'higher-first') > computePriority(right, 'higher-first'),
-        isDearer,
+        isCostlier,
+      );
+      t.is(
+        computePriority(left, 'lower-first') < computePriority(right, 'lower-first'),
+        isCostlier,
       );
-      t.is(computePriority(left, 'lower-first') < computePriority(right, 'lower-first'), isDearer);
     }
   }
 });
--- a/packages/decisions/preemption/preemption.ts
+++ b/packages/decisions/preemption/preemption.ts
@@ -70,7 +70,7 @@
  * @param inputs - length estimates
  * @returns cost, larger for sequences to keep
  */
-export const computeGiveUpCost = (holder: MemoryHolder, inputs: PreemptionInputs): number => {
+export const computePreemptionCost = (holder: MemoryHolder, inputs: PreemptionInputs): number => {
   const remaining = inputs.survival.estimateRemaining(toKey(holder), holder.generated);
   const size = getSize(holder);
   const freed = size * remaining.mean + (remaining.variance + remaining.mean ** 2) / 2;
@@ -90,8 +90,8 @@
 ): PreemptionDecision => {
   if (estimateOverflow(inputs, holders) <= inputs.overflowProbability) return { kind: 'keep' };
   const byCost = holders
-    .filter((holder) => holder.giveUp === 'restartable')
-    .map((holder) => ({ holder, cost: computeGiveUpCost(holder, inputs) }))
+    .filter((holder) => holder.preemptibility === 'restartable')
+    .map((holder) => ({ holder, cost: computePreemptionCost(holder, inputs) }))
     .sort((left, right) => left.cost - right.cost);
   let kept = holders;
   let { usedTokens } = inputs;
@@ -101,9 +101,9 @@
     kept = kept.filter((item) => item !== holder);
     usedTokens -= getSize(holder);
     if (estimateOverflow({ ...inputs, usedTokens }, kept) <= inputs.overflowProbability) {
-      return { kind: 'give-up', requestIds, outcome: 'enough' };
+      return { kind: 'preempt', requestIds, outcome: 'enough' };
     }
   }
   if (requestIds.length === 0) return { kind: 'keep' };
-  return { kind: 'give-up', requestIds, outcome: 'not-enough' };
+  return { kind: 'preempt', requestIds, outcome: 'not-enough' };
 };
--- a/packages/decisions/preemption/types.ts
+++ b/packages/decisions/preemption/types.ts
@@ -10,7 +10,7 @@
  * Whether the daemon may give a sequence up: one of which nothing was shown can run again
  * elsewhere; another one can only be paused by the engine itself.
  */
-export type GiveUp = 'restartable' | 'engine-only';
+export type Preemptibility = 'restartable' | 'engine-only';
 
 /** A sequence that holds memory of the engine. */
 export interface MemoryHolder {
@@ -20,7 +20,7 @@
   readonly version: VersionName;
   readonly promptTokens: number;
   readonly generated: number;
-  readonly giveUp: GiveUp;
+  readonly preemptibility: Preemptibility;
 }
 
 /** Memory of the engine now. */
@@ -37,7 +37,7 @@
 export type PreemptionDecision =
   | { readonly kind: 'keep' }
   | {
-      readonly kind: 'give-up';
+      readonly kind: 'preempt';
       /** Cheapest first. */
       readonly requestIds: readonly RequestId[];
       /** Whether memory is expected to suffice afterwards. */
