Name what the admission handlers react to

resetEngine, updateEngine, startEngine and settleIdentity neither reset nor start engines. They are handleSuspectedEngine, handleEngineChange, startRamp and handleIdentity now. The engine simulation's bearable load is its capacity.

--- a/packages/decisions/admission/coldEngineSimulation.fixture.ts
+++ b/packages/decisions/admission/coldEngineSimulation.fixture.ts
@@ -11,10 +11,10 @@
 const RUN_MS = 60_000;
 const LOAD_PERIOD_MS = 250;
 const READ_DELAY_MS = 10;
-const TOKEN_MS = 30;
-const COLD_BEARABLE = 2;
-const TOKENS_PER_BEARABLE = 400;
-const MAX_BEARABLE = 24;
+const MIN_GAP_MS = 30;
+const COLD_CAPACITY = 2;
+const WARM_UP_TOKENS_PER_SEQUENCE = 400;
+const MAX_CAPACITY = 24;
 const CONTEXT = { settings: DEFAULT_ADMISSION_SETTINGS, survival: createSurvivalTable() };
 
 /** How a restart shows: connections break at once, or they hang. */
@@ -23,7 +23,7 @@
 interface Engine {
   identity: number;
   warmTokens: number;
-  readonly running: Map<string, { left: number; progress: number }>;
+  readonly running: Map<string, { remaining: number; progress: number }>;
 }
 
 /** One run of the simulation. */
@@ -42,11 +42,11 @@
   readonly highestLimit: number;
 }
 
-const computeBearable = (engine: Engine): number =>
-  Math.min(MAX_BEARABLE, COLD_BEARABLE + engine.warmTokens / TOKENS_PER_BEARABLE);
+const computeCapacity = (engine: Engine): number =>
+  Math.min(MAX_CAPACITY, COLD_CAPACITY + engine.warmTokens / WARM_UP_TOKENS_PER_SEQUENCE);
 
 const computeGap = (engine: Engine): number =>
-  TOKEN_MS * (1 + (engine.running.size / computeBearable(engine)) ** 2);
+  MIN_GAP_MS * (1 + (engine.running.size / computeCapacity(engine)) ** 2);
 
 const buildRequest = (requestId: string): AdmissionRequest => ({
   requestId,
@@ -67,7 +67,7 @@
   const engine: Engine = { identity: 0, warmTokens: 0, running: new Map() };
   const reads: { readonly requestedAt: number; readonly at: number }[] = [];
   let state: AdmissionState = createAdmissionState(0);
-  let number = 0;
+  let requestCount = 0;
   const outcome = { collapses: 0, overruns: 0, finished: 0, highestLimit: 0 };
 
   const handle = (event: AdmissionEvent): void => {
@@ -100,12 +100,12 @@
   const sendRequests = (now: number): void => {
     for (let daemon = 0; daemon < scenario.entryDaemons; daemon += 1) {
       if (random.next() > 0.2) continue;
-      number += 1;
-      const request = buildRequest(number.toString());
+      requestCount += 1;
+      const request = buildRequest(requestCount.toString());
       const decision =
         scenario.limiting === 'decided'
           ? decideAdmit(state, request, CONTEXT).kind
-          : state.running.size < MAX_BEARABLE
+          : state.running.size < MAX_CAPACITY
             ? 'admit'
             : 'refuse';
       if (decision === 'refuse') continue;
@@ -114,7 +114,7 @@
       }
       handle({ kind: 'admitted', request, now });
       const length = 5 + Math.floor(-200 * Math.log(1 - random.next()));
-      engine.running.set(request.requestId, { left: length, progress: 0 });
+      engine.running.set(request.requestId, { remaining: length, progress: 0 });
     }
   };
 
@@ -124,10 +124,10 @@
       sequence.progress += TICK_MS / gapMs;
       if (sequence.progress < 1) continue;
       sequence.progress -= 1;
-      sequence.left -= 1;
+      sequence.remaining -= 1;
       engine.warmTokens += 1;
       handle({ kind: 'tokens-received', requestId, tokens: 1, gapMs, now });
-      if (sequence.left > 0) continue;
+      if (sequence.remaining > 0) continue;
       engine.running.delete(requestId);
       outcome.finished += 1;
       handle({ kind: 'sequence-ended', requestId, reason: 'finished', now });
@@ -142,7 +142,7 @@
       else reads.push(read);
     }
     sendRequests(now);
-    if (engine.running.size > computeBearable(engine)) outcome.collapses += 1;
+    if (engine.running.size > computeCapacity(engine)) outcome.collapses += 1;
     generateTokens(now);
     outcome.highestLimit = Math.max(outcome.highestLimit, getLimit(state));
   }
--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -13,7 +13,7 @@
   decreaseFactor: 0.7,
   evidenceTokens: 256,
   completionEvidence: 0,
-  nearFactor: 1.5,
+  nearBaselineFactor: 1.5,
   collapseFactor: 2.5,
   coldFactor: 6,
   acceptedGapMs: 0,
@@ -30,7 +30,7 @@
 export const SERVICE_ADMISSION_SETTINGS: AdmissionSettings = {
   ...DEFAULT_ADMISSION_SETTINGS,
   completionEvidence: 1,
-  nearFactor: 2,
+  nearBaselineFactor: 2,
   collapseFactor: 4,
   coldFactor: 12,
   memoryBound: 'none',
--- a/packages/decisions/admission/decideLimit.ts
+++ b/packages/decisions/admission/decideLimit.ts
@@ -84,7 +84,7 @@
   return toStep(next, { kind: 'limit-changed', limit: getLimit(next), phase: phase.kind, cause });
 };
 
-const startEngine = (
+const startRamp = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -99,7 +99,7 @@
   );
 
 /** A broken sequence may mean a restart, so nothing is admitted until the identity is read again. */
-const resetEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
+const handleSuspectedEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
   const { phase } = state;
   if (phase.kind === 'starting') return toStep(state, { kind: 'read-load' });
   const previous = { identity: phase.identity, limit: phase.limit };
@@ -108,7 +108,7 @@
 };
 
 /** Sequences confirmed under the old identity ended with it; later ones may run on the new engine. */
-const updateEngine = (
+const handleEngineChange = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -117,7 +117,7 @@
   const lost = [...state.running.values()].filter((sequence) => sequence.engine === 'confirmed');
   const running = new Map(state.running);
   for (const sequence of lost) running.delete(sequence.requestId);
-  const step = startEngine({ ...state, running }, identity, settings, 'engine-changed', now);
+  const step = startRamp({ ...state, running }, identity, settings, 'engine-changed', now);
   return toStep(step.state, ...step.effects, {
     kind: 'sequences-lost',
     requestIds: lost.map((sequence) => sequence.requestId),
@@ -138,7 +138,7 @@
   return applyPhase(state, { kind: 'serving', identity, limit: lower }, cause, now);
 };
 
-const settleIdentity = (
+const handleIdentity = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -148,12 +148,13 @@
   if (phase.kind !== 'starting') {
     return phase.identity === identity
       ? toStep(state)
-      : updateEngine(state, identity, settings, now);
+      : handleEngineChange(state, identity, settings, now);
   }
   if (phase.previous === undefined) {
-    return startEngine(state, identity, settings, 'engine-seen', now);
+    return startRamp(state, identity, settings, 'engine-seen', now);
   }
-  if (phase.previous.identity !== identity) return updateEngine(state, identity, settings, now);
+  if (phase.previous.identity !== identity)
+    return handleEngineChange(state, identity, settings, now);
   const limit = Math.max(settings.startLimit, Math.floor(phase.previous.limit / 2));
   return applyPhase(state, { kind: 'ramping', identity, limit }, 'engine-seen', now);
 };
@@ -173,15 +174,15 @@
   event: EventOf<'load-read'>,
   settings: AdmissionSettings,
 ): AdmissionStep => {
-  const settled = settleIdentity(state, event.identity, settings, event.now);
+  const identityStep = handleIdentity(state, event.identity, settings, event.now);
   const running = new Map<RequestId, RunningSequence>();
-  for (const [id, sequence] of settled.state.running) {
+  for (const [id, sequence] of identityStep.state.running) {
     running.set(id, updateSequence(sequence, event));
   }
-  const next = { ...settled.state, running, memory: event.memory };
+  const next = { ...identityStep.state, running, memory: event.memory };
   const preempted =
-    settled.effects.length === 0 && event.memory.preemptions > state.memory.preemptions;
-  if (!preempted) return toStep(next, ...settled.effects);
+    identityStep.effects.length === 0 && event.memory.preemptions > state.memory.preemptions;
+  if (!preempted) return toStep(next, ...identityStep.effects);
   return applyDecrease(next, settings, 'preemption', event.now);
 };
 
@@ -211,7 +212,7 @@
 };
 
 /** A prefill or a preemption makes single gaps of seconds, which must not look like a cold engine. */
-const computeCountedGap = (
+const computeCappedGap = (
   gapMs: Millis,
   baselineMs: Millis | undefined,
   settings: AdmissionSettings,
@@ -228,7 +229,7 @@
 const isNearBaseline = (gaps: TokenGaps, settings: AdmissionSettings): boolean =>
   gaps.baselineMs !== undefined &&
   gaps.recentMs !== undefined &&
-  gaps.recentMs <= Math.max(settings.nearFactor * gaps.baselineMs, settings.acceptedGapMs);
+  gaps.recentMs <= Math.max(settings.nearBaselineFactor * gaps.baselineMs, settings.acceptedGapMs);
 
 const hasFreeMemory = (state: AdmissionState): boolean => {
   const { usedTokens, totalTokens } = state.memory;
@@ -245,8 +246,8 @@
   if (phase.kind === 'starting') return toStep(state);
   if (state.running.size < phase.limit * EVIDENCE_LOAD_SHARE) return toStep(state);
   const evidence = state.evidence + amount;
-  const isEnough = evidence >= phase.limit && phase.limit < settings.maxLimit;
-  if (!isEnough || !isNearBaseline(state.gaps, settings) || !hasFreeMemory(state)) {
+  const hasEnoughEvidence = evidence >= phase.limit && phase.limit < settings.maxLimit;
+  if (!hasEnoughEvidence || !isNearBaseline(state.gaps, settings) || !hasFreeMemory(state)) {
     return toStep({ ...state, evidence: Math.min(evidence, phase.limit) });
   }
   const factor = phase.kind === 'ramping' ? settings.growthFactor : 1;
@@ -264,7 +265,7 @@
   const { phase } = state;
   const { baselineMs } = state.gaps;
   if (phase.kind === 'starting') return toStep(state);
-  const gaps = updateGaps(state.gaps, computeCountedGap(event.gapMs, baselineMs, settings));
+  const gaps = updateGaps(state.gaps, computeCappedGap(event.gapMs, baselineMs, settings));
   const next = { ...state, gaps };
   const recentMs = gaps.recentMs ?? 0;
   const factor = recentMs / (gaps.baselineMs ?? Infinity);
@@ -272,7 +273,7 @@
     return addEvidence(next, event.tokens / settings.evidenceTokens, settings, event.now);
   }
   return factor > settings.coldFactor
-    ? startEngine(next, phase.identity, settings, 'cold-latency', event.now)
+    ? startRamp(next, phase.identity, settings, 'cold-latency', event.now)
     : applyDecrease(next, settings, 'collapse', event.now);
 };
 
@@ -293,7 +294,7 @@
     case 'cancelled':
       return toStep({ ...state, running });
     case 'engine-failed':
-      return resetEngine({ ...state, running }, event.now);
+      return handleSuspectedEngine({ ...state, running }, event.now);
     default:
       return assertNever(event.reason);
   }
@@ -324,7 +325,7 @@
     case 'sequence-ended':
       return handleEnd(state, event, settings);
     case 'engine-unreachable':
-      return resetEngine(state, event.now);
+      return handleSuspectedEngine(state, event.now);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -142,7 +142,7 @@
   /** Units that a completion counts: 0 for engines, which warm up by tokens; 1 for services. */
   readonly completionEvidence: number;
   /** Gap up to which the limit grows, as a multiple of the baseline. */
-  readonly nearFactor: number;
+  readonly nearBaselineFactor: number;
   /** Mean gap from which on the limit falls, as a multiple of the baseline. */
   readonly collapseFactor: number;
   /** Mean gap from which on the engine's cache counts as cold, as a multiple of the baseline. */
