Name placements and candidate checks plainly

own, OwnLoad, OwnPlacement and OwnView did not say what is owned: they are the daemon's local placements, LocalLoad, LocalPlacement and PlacementTableView now. TestedEndpoint is CandidateCheck, prefixWorth is prefixBonus, getTurn is getPlacementCount. The benchmark's ModelEngine is FluidEngine, since a model here is also a language model.

--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -6,7 +6,7 @@
 import type {
   EndpointPhase,
   EndpointView,
-  OwnPlacement,
+  LocalPlacement,
   PlacementPolicy,
   PlacementRequest,
 } from './types.js';
@@ -48,7 +48,7 @@
   ...changes,
 });
 
-const buildPlacement = (requestId: string, endpoint: string): OwnPlacement => ({
+const buildPlacement = (requestId: string, endpoint: string): LocalPlacement => ({
   requestId,
   endpoint,
   className: 'memo',
@@ -64,8 +64,8 @@
   endpoints: readonly EndpointView[],
   request = buildRequest(),
   policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
-  own = createOwnTable(survival),
-) => choosePlacement(policy, request, endpoints, own, survival, random);
+  placements = createOwnTable(survival),
+) => choosePlacement(policy, request, endpoints, placements, survival, random);
 
 const policies: readonly PlacementPolicy[] = [
   { kind: 'round-robin' },
@@ -92,27 +92,27 @@
 
   // Guards against a limit that is overrun between two load reports.
   test(`${policy.kind} counts own placements since the report towards the limit`, (t) => {
-    const own = createOwnTable(survival);
+    const placements = createOwnTable(survival);
     const endpoints = [buildEndpoint('cold', { limit: 2, running: 1 })];
-    own.trackPlacement(buildPlacement('a', 'cold'));
-    t.deepEqual(choose(endpoints, buildRequest(), policy, own), {
+    placements.trackPlacement(buildPlacement('a', 'cold'));
+    t.deepEqual(choose(endpoints, buildRequest(), policy, placements), {
       kind: 'wait',
       reason: 'at-limit',
     });
-    own.settleReport('cold', 2_000);
-    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'place');
+    placements.settleReport('cold', 2_000);
+    t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'place');
   });
 
   // Guards against sending to a full endpoint again and again while its last report shows room.
   test(`${policy.kind} avoids an endpoint that refused for lack of room until its next report`, (t) => {
-    const own = createOwnTable(survival);
+    const placements = createOwnTable(survival);
     const endpoints = [buildEndpoint('full', { limit: 2, running: 0 })];
-    own.recordRefusal('full', 2, 2_000);
-    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'wait');
-    own.settleReport('full', 1_900);
-    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'wait');
-    own.settleReport('full', 2_100);
-    t.is(choose(endpoints, buildRequest(), policy, own).kind, 'place');
+    placements.recordRefusal('full', 2, 2_000);
+    t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'wait');
+    placements.settleReport('full', 1_900);
+    t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'wait');
+    placements.settleReport('full', 2_100);
+    t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'place');
   });
 }
 
@@ -176,12 +176,12 @@
 
 // Guards against a baseline that skips endpoints or prefers some.
 test('round-robin gives every endpoint its turn', (t) => {
-  const own = createOwnTable(survival);
+  const placements = createOwnTable(survival);
   const endpoints = ['a', 'b', 'c'].map((name) => buildEndpoint(name));
   const chosen = [1, 2, 3, 4, 5, 6].map((number) => {
-    const decision = choose(endpoints, buildRequest(), { kind: 'round-robin' }, own);
+    const decision = choose(endpoints, buildRequest(), { kind: 'round-robin' }, placements);
     const endpoint = decision.kind === 'place' ? decision.endpoint : '';
-    own.trackPlacement(buildPlacement(number.toString(), endpoint));
+    placements.trackPlacement(buildPlacement(number.toString(), endpoint));
     return endpoint;
   });
   t.deepEqual(chosen, ['a', 'b', 'c', 'a', 'b', 'c']);
@@ -227,16 +227,17 @@
 
 // Guards against sums per endpoint that drift from the placements they stand for.
 test('own sums return to zero when all placements ended and were reported', (t) => {
-  const own = createOwnTable(survival);
+  const placements = createOwnTable(survival);
   for (let number = 0; number < 50; number += 1) {
-    own.trackPlacement(buildPlacement(number.toString(), 'a'));
-    own.updateProgress(number.toString(), number * 20);
+    placements.trackPlacement(buildPlacement(number.toString(), 'a'));
+    placements.updateProgress(number.toString(), number * 20);
   }
-  own.settleReport('a', 2_000);
-  for (let number = 0; number < 50; number += 1) own.releasePlacement(number.toString(), 3_000);
-  t.is(own.getLoad('a')?.endedCount, 50);
-  own.settleReport('a', 4_000);
-  const load = own.getLoad('a');
+  placements.settleReport('a', 2_000);
+  for (let number = 0; number < 50; number += 1)
+    placements.releasePlacement(number.toString(), 3_000);
+  t.is(placements.getLoad('a')?.endedCount, 50);
+  placements.settleReport('a', 4_000);
+  const load = placements.getLoad('a');
   t.deepEqual(
     [load?.includedCount, load?.includedTokens, load?.newCount, load?.newTokens],
     [0, 0, 0, 0],
--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -1,15 +1,15 @@
 import {
   MAX_SLOT_CHECKS,
-  PREFIX_FRESHNESS_MS,
+  PREFIX_DECAY_MS,
   SAMPLING_STRIDES,
-  TESTS_PER_CHOICE,
+  MAX_CHECKS_PER_CHOICE,
 } from './constants.js';
 import { countRequests, hasSlot, isCandidate } from './eligible.js';
 import { buildInputs, checkEndpoint } from './headroom.js';
-import type { HeadroomInputs, TestedEndpoint } from './headroom.js';
+import type { HeadroomInputs, CandidateCheck } from './headroom.js';
 import type {
   EndpointView,
-  OwnView,
+  PlacementTableView,
   PlacementCandidate,
   PlacementDecision,
   PlacementPolicy,
@@ -35,14 +35,14 @@
   view: EndpointView,
   reason: PlacementReason,
   candidates: readonly PlacementCandidate[],
-  more: readonly PlacementReason[] = [],
+  extraReasons: readonly PlacementReason[] = [],
 ): PlacementDecision => ({
   kind: 'place',
   endpoint: view.endpoint,
   incarnation: view.incarnation,
   reasons: [
     request.pinned === undefined ? reason : 'pinned',
-    ...more,
+    ...extraReasons,
     ...(view.dataCentre === request.dataCentre ? (['same-data-centre'] as const) : []),
   ],
   candidates,
@@ -74,16 +74,16 @@
     : buildRefusal(request);
 
 /** Walks from the turn's place in the whole list, so that a full endpoint does not shift the rest. */
-const chooseInTurn = (
+const chooseRoundRobin = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
 ): PlacementDecision => {
   const serving = endpoints.filter((endpoint) => isCandidate(request, endpoint));
-  const first = own.getTurn() % Math.max(1, serving.length);
+  const first = placements.getPlacementCount() % Math.max(1, serving.length);
   for (let step = 0; step < serving.length; step += 1) {
     const view = serving[(first + step) % serving.length] as EndpointView;
-    const requests = countRequests(view, own);
+    const requests = countRequests(view, placements);
     if (!hasSlot(request, view, requests)) continue;
     return buildPlaced(request, view, 'next-in-turn', [buildBaselineCandidate(view, requests)]);
   }
@@ -93,14 +93,14 @@
 const chooseFewestRequests = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
   random: RandomSource,
 ): PlacementDecision => {
   let fewest = Infinity;
   let tied: EndpointView[] = [];
   for (const view of endpoints) {
     if (!isCandidate(request, view)) continue;
-    const requests = countRequests(view, own);
+    const requests = countRequests(view, placements);
     if (requests > fewest || !hasSlot(request, view, requests)) continue;
     if (requests < fewest) tied = [];
     fewest = requests;
@@ -127,7 +127,7 @@
     if (best !== undefined && view.prefixAgeMs >= best.prefixAgeMs) continue;
     if (!view.prefixes.has(prefix) || !isCandidate(request, view)) continue;
     best = view;
-    if (view.prefixAgeMs < PREFIX_FRESHNESS_MS / 2) break;
+    if (view.prefixAgeMs < PREFIX_DECAY_MS / 2) break;
   }
   return best;
 };
@@ -143,37 +143,37 @@
  * Endpoints without a free slot cost no test, and no list of all endpoints is built. In a large fleet
  * a request may wait although a slot is free somewhere, when none of a large sample has one.
  */
-const collectTested = (
+const checkCandidates = (
   inputs: HeadroomInputs,
   endpoints: readonly EndpointView[],
   random: RandomSource,
-): readonly TestedEndpoint[] => {
-  const { request, policy, own } = inputs;
-  const tested: TestedEndpoint[] = [];
+): readonly CandidateCheck[] => {
+  const { request, policy, placements } = inputs;
+  const checks: CandidateCheck[] = [];
   let fitting = 0;
-  let checked = 0;
+  let slotChecks = 0;
   const checkNext = (view: EndpointView): void => {
-    checked += 1;
-    const requests = countRequests(view, own);
+    slotChecks += 1;
+    const requests = countRequests(view, placements);
     if (!hasSlot(request, view, requests)) return;
-    const test = checkEndpoint(inputs, view, requests);
-    tested.push(test);
-    if (test.room === 'fits') fitting += 1;
+    const check = checkEndpoint(inputs, view, requests);
+    checks.push(check);
+    if (check.room === 'fits') fitting += 1;
   };
   const holder = findPrefixHolder(request, endpoints, random);
   if (holder !== undefined) checkNext(holder);
   const count = endpoints.length;
   const stride = pickStride(count, random);
-  const bound = policy.choices * TESTS_PER_CHOICE;
+  const bound = policy.choices * MAX_CHECKS_PER_CHOICE;
   let position = Math.floor(random.next() * count);
   for (let step = 0; step < count; step += 1) {
-    if (fitting >= policy.choices || tested.length >= bound) break;
-    if (checked >= MAX_SLOT_CHECKS) break;
+    if (fitting >= policy.choices || checks.length >= bound) break;
+    if (slotChecks >= MAX_SLOT_CHECKS) break;
     const view = endpoints[position] as EndpointView;
     position = (position + stride) % count;
     if (view !== holder && isCandidate(request, view)) checkNext(view);
   }
-  return tested;
+  return checks;
 };
 
 const chooseMostHeadroom = (
@@ -182,12 +182,12 @@
   random: RandomSource,
 ): PlacementDecision => {
   const { request } = inputs;
-  const tested = collectTested(inputs, endpoints, random);
-  if (tested.length === 0) return decideWithoutSlot(request, endpoints);
-  let best: TestedEndpoint | undefined;
-  for (const test of tested) {
-    if (test.room === 'too-full') continue;
-    if (best === undefined || test.candidate.score > best.candidate.score) best = test;
+  const checks = checkCandidates(inputs, endpoints, random);
+  if (checks.length === 0) return decideWithoutSlot(request, endpoints);
+  let best: CandidateCheck | undefined;
+  for (const check of checks) {
+    if (check.room === 'too-full') continue;
+    if (best === undefined || check.candidate.score > best.candidate.score) best = check;
   }
   if (best === undefined) return buildWait(request, 'memory-full');
   const reason = request.targets.answerLength === 'short' ? 'shortest-wait' : 'most-headroom';
@@ -195,8 +195,8 @@
     request,
     best.view,
     reason,
-    tested.map((test) => test.candidate),
-    best.prefixWorth > 0 ? ['prefix-cached'] : [],
+    checks.map((check) => check.candidate),
+    best.prefixBonus > 0 ? ['prefix-cached'] : [],
   );
 };
 
@@ -215,17 +215,21 @@
   policy: PlacementPolicy,
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
   survival: SurvivalView,
   random: RandomSource,
 ): PlacementDecision => {
   switch (policy.kind) {
     case 'round-robin':
-      return chooseInTurn(request, endpoints, own);
+      return chooseRoundRobin(request, endpoints, placements);
     case 'least-requests':
-      return chooseFewestRequests(request, endpoints, own, random);
+      return chooseFewestRequests(request, endpoints, placements, random);
     case 'predicted-headroom':
-      return chooseMostHeadroom(buildInputs(policy, request, own, survival), endpoints, random);
+      return chooseMostHeadroom(
+        buildInputs(policy, request, placements, survival),
+        endpoints,
+        random,
+      );
     default:
       return assertNever(policy);
   }
--- a/packages/decisions/placement/classBounds.ts
+++ b/packages/decisions/placement/classBounds.ts
@@ -2,12 +2,12 @@
   CRITICAL_OVERFLOW_FACTOR,
   CRITICAL_RESERVE_SHARE,
   MAX_ACCEPTED_OVERFLOW,
-  RESERVE_FROM_LIMIT,
+  MIN_LIMIT_FOR_RESERVE,
 } from './constants.js';
 import type { ClassTargets, Importance } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-const isReserveOpen = (importance: Importance): boolean => {
+const hasReserveAccess = (importance: Importance): boolean => {
   switch (importance) {
     case 'critical':
       return true;
@@ -28,7 +28,7 @@
  * @returns the class's limit, at least 1 when `limit` is
  */
 export const computeClassLimit = (limit: number, targets: ClassTargets): number => {
-  if (limit < RESERVE_FROM_LIMIT || isReserveOpen(targets.importance)) return limit;
+  if (limit < MIN_LIMIT_FOR_RESERVE || hasReserveAccess(targets.importance)) return limit;
   return limit - Math.max(1, Math.floor(limit * CRITICAL_RESERVE_SHARE));
 };
 
@@ -40,7 +40,7 @@
  * @returns tokens that may be used
  */
 export const computeClassMemory = (total: number, targets: ClassTargets): number =>
-  isReserveOpen(targets.importance) ? total : total * (1 - CRITICAL_RESERVE_SHARE);
+  hasReserveAccess(targets.importance) ? total : total * (1 - CRITICAL_RESERVE_SHARE);
 
 /**
  * Computes the probability of a memory overflow that a class accepts. Critical answers accept more:
@@ -52,6 +52,6 @@
  */
 export const computeAcceptedOverflow = (targets: ClassTargets, base: number): number => {
   if (targets.overflowProbability !== undefined) return targets.overflowProbability;
-  if (!isReserveOpen(targets.importance)) return base;
+  if (!hasReserveAccess(targets.importance)) return base;
   return Math.min(MAX_ACCEPTED_OVERFLOW, base * CRITICAL_OVERFLOW_FACTOR);
 };
--- a/packages/decisions/placement/constants.ts
+++ b/packages/decisions/placement/constants.ts
@@ -13,19 +13,19 @@
 export const CRITICAL_RESERVE_SHARE = 0.05;
 
 /** Limit from which on a slot is kept for critical classes; below, a kept slot would halve a cold endpoint. */
-export const RESERVE_FROM_LIMIT = 4;
+export const MIN_LIMIT_FOR_RESERVE = 4;
 
 /** Worth of an endpoint in the own data centre, as a share of memory: decides only near-ties. */
 export const SAME_DATA_CENTRE_BONUS = 0.02;
 
 /** Age at which knowledge of a cached prefix is worth 1/e: engines publish cache events late. */
-export const PREFIX_FRESHNESS_MS = 20_000;
+export const PREFIX_DECAY_MS = 20_000;
 
 /** Factor on the worth of a cached prefix per lost cache event; an eviction may be among them. */
 export const PREFIX_GAP_FACTOR = 0.7;
 
 /** Endpoints tested for one request per requested choice, when sampled ones have no room. */
-export const TESTS_PER_CHOICE = 4;
+export const MAX_CHECKS_PER_CHOICE = 4;
 
 /**
  * Endpoints whose slots are counted for one request. Counting all of 512 full ones took 94 us (p99),
--- a/packages/decisions/placement/crowded.bench.ts
+++ b/packages/decisions/placement/crowded.bench.ts
@@ -96,7 +96,7 @@
   };
 };
 
-const addUp = (values: readonly number[]): number =>
+const sumValues = (values: readonly number[]): number =>
   values.reduce((left, right) => left + right, 0);
 
 const measureClass = (result: ClusterResult, className: string) => {
@@ -108,8 +108,8 @@
     finished: finished.length,
     refused: outcomes.length - finished.length,
     firstToken: measureFirstTokens(outcomes),
-    preemptions: addUp(finished.map((sequence) => sequence.preemptions)),
-    stallSeconds: Math.round(addUp(finished.map((sequence) => sequence.stallMs)) / 1_000),
+    preemptions: sumValues(finished.map((sequence) => sequence.preemptions)),
+    stallSeconds: Math.round(sumValues(finished.map((sequence) => sequence.stallMs)) / 1_000),
   };
 };
 
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -1,5 +1,5 @@
-import { countMemory, createModelEngine, runEngine } from './engine.js';
-import type { EngineSequence, ModelEngine } from './engine.js';
+import { countMemory, createFluidEngine, runEngine } from './engine.js';
+import type { EngineSequence, FluidEngine } from './engine.js';
 import type { WorkItem } from './workload.js';
 import type { Millis } from '../../../core/clock.js';
 import { createRandomSource } from '../../../core/random.js';
@@ -46,8 +46,8 @@
 }
 
 /** An endpoint daemon with its engine. */
-interface ModelEndpoint {
-  readonly engine: ModelEngine;
+interface ClusterEndpoint {
+  readonly engine: FluidEngine;
   readonly survival: SurvivalTable;
   readonly context: AdmissionContext;
   admission: AdmissionState;
@@ -55,9 +55,9 @@
 }
 
 /** An entry daemon. */
-interface ModelEntry {
+interface ClusterEntry {
   readonly survival: SurvivalTable;
-  readonly own: OwnTable;
+  readonly placements: OwnTable;
   queue: QueueState;
 }
 
@@ -69,7 +69,7 @@
   readonly end: 'finished' | 'refused';
 }
 
-const buildView = (endpoint: Pick<ModelEndpoint, 'engine' | 'admission'>): EndpointView => {
+const buildView = (endpoint: Pick<ClusterEndpoint, 'engine' | 'admission'>): EndpointView => {
   const { engine, admission } = endpoint;
   const waiting = engine.sequences.filter((sequence) => sequence.phase === 'waiting').length;
   return {
@@ -96,10 +96,10 @@
 /** State of one run; updated in place by the steps. */
 interface Cluster {
   readonly variant: Variant;
-  readonly endpoints: readonly ModelEndpoint[];
-  readonly entries: readonly ModelEntry[];
+  readonly endpoints: readonly ClusterEndpoint[];
+  readonly entries: readonly ClusterEntry[];
   readonly items: ReadonlyMap<string, WorkItem>;
-  readonly entryOf: Map<string, ModelEntry>;
+  readonly entryOf: Map<string, ClusterEntry>;
   readonly firstTokens: Map<string, Millis>;
   readonly random: ReturnType<typeof createRandomSource>;
   readonly reports: { readonly takenAt: Millis; readonly views: readonly EndpointView[] }[];
@@ -107,17 +107,21 @@
   takenAt: Millis;
 }
 
-const createEndpoint = (name: string, variant: Variant, memoryTokens: number): ModelEndpoint => {
-  const engine = createModelEngine(name, memoryTokens);
+const createEndpoint = (name: string, variant: Variant, memoryTokens: number): ClusterEndpoint => {
+  const engine = createFluidEngine(name, memoryTokens);
   const admission = createAdmissionState(0);
   const survival = createSurvivalTable();
   const context = { settings: variant.admission, survival };
   return { engine, survival, context, admission, view: buildView({ engine, admission }) };
 };
 
-const createEntryDaemon = (): ModelEntry => {
+const createEntryDaemon = (): ClusterEntry => {
   const survival = createSurvivalTable();
-  return { survival, own: createOwnTable(survival), queue: createQueueState(QUEUE_SETTINGS) };
+  return {
+    survival,
+    placements: createOwnTable(survival),
+    queue: createQueueState(QUEUE_SETTINGS),
+  };
 };
 
 const createCluster = (
@@ -139,11 +143,11 @@
   takenAt: 0,
 });
 
-const applyLimit = (endpoint: ModelEndpoint, event: AdmissionEvent): void => {
+const applyAdmissionEvent = (endpoint: ClusterEndpoint, event: AdmissionEvent): void => {
   endpoint.admission = decideLimit(endpoint.admission, event, endpoint.context).state;
 };
 
-const applyQueue = (cluster: Cluster, entry: ModelEntry, event: QueueEvent): void => {
+const applyQueueEvent = (cluster: Cluster, entry: ClusterEntry, event: QueueEvent): void => {
   const step = decideQueue(entry.queue, event);
   entry.queue = step.state;
   for (const effect of step.effects) {
@@ -160,18 +164,18 @@
   promptTokens: item.work.promptTokens,
 });
 
-const startAt = (
+const startOnEndpoint = (
   cluster: Cluster,
-  entry: ModelEntry,
-  endpoint: ModelEndpoint,
+  entry: ClusterEntry,
+  endpoint: ClusterEndpoint,
   item: WorkItem,
   now: Millis,
 ): void => {
   const { targets, promptTokens } = item.work;
-  applyLimit(endpoint, { kind: 'admitted', request: toAdmissionRequest(item), now });
-  applyQueue(cluster, entry, { kind: 'take', requestId: item.requestId });
+  applyAdmissionEvent(endpoint, { kind: 'admitted', request: toAdmissionRequest(item), now });
+  applyQueueEvent(cluster, entry, { kind: 'take', requestId: item.requestId });
   cluster.entryOf.set(item.requestId, entry);
-  entry.own.trackPlacement({
+  entry.placements.trackPlacement({
     requestId: item.requestId,
     endpoint: endpoint.engine.name,
     className: targets.className,
@@ -201,7 +205,7 @@
 /** Tries endpoints until one admits the request; one that refused is excluded for this attempt. */
 const dispatchItem = (
   cluster: Cluster,
-  entry: ModelEntry,
+  entry: ClusterEntry,
   item: WorkItem,
   now: Millis,
 ): boolean => {
@@ -221,7 +225,7 @@
         excluded,
       },
       views,
-      entry.own,
+      entry.placements,
       entry.survival,
       cluster.random,
     );
@@ -231,15 +235,15 @@
     if (endpoint === undefined) return false;
     const admit = decideAdmit(endpoint.admission, toAdmissionRequest(item), endpoint.context);
     if (admit.kind === 'admit') {
-      startAt(cluster, entry, endpoint, item, now);
+      startOnEndpoint(cluster, entry, endpoint, item, now);
       return true;
     }
     excluded.add(chosen);
   }
 };
 
-const runQueue = (cluster: Cluster, entry: ModelEntry, now: Millis): void => {
-  applyQueue(cluster, entry, { kind: 'tick', now });
+const runQueue = (cluster: Cluster, entry: ClusterEntry, now: Millis): void => {
+  applyQueueEvent(cluster, entry, { kind: 'tick', now });
   for (let placed = true; placed;) {
     placed = false;
     for (const head of listHeads(entry.queue)) {
@@ -250,10 +254,10 @@
 };
 
 const receiveItem = (cluster: Cluster, item: WorkItem): void => {
-  const entry = cluster.entries[item.entry] as ModelEntry;
+  const entry = cluster.entries[item.entry] as ClusterEntry;
   const { targets, promptTokens, patienceMs } = item.work;
   const key = { className: targets.className, customer: item.customer, version: 'v1' };
-  applyQueue(cluster, entry, {
+  applyQueueEvent(cluster, entry, {
     kind: 'enqueue',
     request: {
       requestId: item.requestId,
@@ -269,9 +273,9 @@
   });
 };
 
-const readLoad = (endpoint: ModelEndpoint, now: Millis): void => {
+const readLoad = (endpoint: ClusterEndpoint, now: Millis): void => {
   const { engine } = endpoint;
-  applyLimit(endpoint, {
+  applyAdmissionEvent(endpoint, {
     kind: 'load-read',
     identity: engine.name,
     memory: {
@@ -288,25 +292,25 @@
   });
 };
 
-const settleSequence = (
+const finishSequence = (
   cluster: Cluster,
-  endpoint: ModelEndpoint,
+  endpoint: ClusterEndpoint,
   sequence: EngineSequence,
   now: Millis,
 ): void => {
   const { requestId } = sequence;
   const item = cluster.items.get(requestId) as WorkItem;
-  const entry = cluster.entryOf.get(requestId) as ModelEntry;
+  const entry = cluster.entryOf.get(requestId) as ClusterEntry;
   const key = { className: sequence.className, customer: item.customer, version: 'v1' };
   entry.survival.observeFinished(key, item.outputTokens);
   endpoint.survival.observeFinished(key, item.outputTokens);
-  entry.own.releasePlacement(requestId, now);
-  applyLimit(endpoint, { kind: 'sequence-ended', requestId, reason: 'finished', now });
+  entry.placements.releasePlacement(requestId, now);
+  applyAdmissionEvent(endpoint, { kind: 'sequence-ended', requestId, reason: 'finished', now });
   const firstTokenMs = cluster.firstTokens.get(requestId) ?? now - item.at;
   cluster.outcomes.push({ item, firstTokenMs, sequence, end: 'finished' });
 };
 
-const runEndpoint = (cluster: Cluster, endpoint: ModelEndpoint, now: Millis): void => {
+const runEndpoint = (cluster: Cluster, endpoint: ClusterEndpoint, now: Millis): void => {
   const { engine } = endpoint;
   const step = runEngine(engine, STEP_MS);
   for (const sequence of step.firstTokens) {
@@ -314,12 +318,12 @@
     cluster.firstTokens.set(sequence.requestId, now + STEP_MS - item.at);
   }
   for (const sequence of engine.sequences) {
-    const entry = cluster.entryOf.get(sequence.requestId) as ModelEntry;
-    entry.own.updateProgress(sequence.requestId, Math.floor(sequence.generated));
+    const entry = cluster.entryOf.get(sequence.requestId) as ClusterEntry;
+    entry.placements.updateProgress(sequence.requestId, Math.floor(sequence.generated));
   }
   const [first] = engine.sequences;
   if (first !== undefined) {
-    applyLimit(endpoint, {
+    applyAdmissionEvent(endpoint, {
       kind: 'tokens-received',
       requestId: first.requestId,
       tokens: (engine.tokensPerSecond * STEP_MS) / 1_000,
@@ -327,10 +331,10 @@
       now,
     });
   }
-  for (const sequence of step.finished) settleSequence(cluster, endpoint, sequence, now);
+  for (const sequence of step.finished) finishSequence(cluster, endpoint, sequence, now);
 };
 
-const runReports = (cluster: Cluster, now: Millis): void => {
+const updateReports = (cluster: Cluster, now: Millis): void => {
   if (now % HEARTBEAT_MS === 0) {
     cluster.reports.push({ takenAt: now, views: cluster.endpoints.map(buildView) });
   }
@@ -341,7 +345,7 @@
   cluster.endpoints.forEach((endpoint, index) => {
     endpoint.view = oldest.views[index] as EndpointView;
     for (const entry of cluster.entries)
-      entry.own.settleReport(endpoint.engine.name, oldest.takenAt);
+      entry.placements.settleReport(endpoint.engine.name, oldest.takenAt);
   });
 };
 
@@ -373,7 +377,7 @@
   let next = 0;
   let memory = 0;
   for (let now = 0; now < until; now += STEP_MS) {
-    runReports(cluster, now);
+    updateReports(cluster, now);
     for (let item = items[next]; item !== undefined && item.at <= now; item = items[next]) {
       receiveItem(cluster, item);
       next += 1;
--- a/packages/decisions/placement/crowded/engine.ts
+++ b/packages/decisions/placement/crowded/engine.ts
@@ -27,7 +27,7 @@
 }
 
 /** One engine of the fluid model: batch steps, limited memory, preemption by recomputation. */
-export interface ModelEngine {
+export interface FluidEngine {
   readonly name: string;
   readonly memoryTokens: number;
   sequences: EngineSequence[];
@@ -44,7 +44,7 @@
 }
 
 /** Creates an idle engine. */
-export const createModelEngine = (name: string, memoryTokens: number): ModelEngine => ({
+export const createFluidEngine = (name: string, memoryTokens: number): FluidEngine => ({
   name,
   memoryTokens,
   sequences: [],
@@ -55,20 +55,20 @@
 
 const getSize = (sequence: EngineSequence): number => sequence.promptTokens + sequence.generated;
 
-const listRunning = (engine: ModelEngine): EngineSequence[] =>
+const listRunning = (engine: FluidEngine): EngineSequence[] =>
   engine.sequences.filter((sequence) => sequence.phase !== 'waiting');
 
 /** Counts the tokens of memory in use. */
-export const countMemory = (engine: ModelEngine): number =>
+export const countMemory = (engine: FluidEngine): number =>
   listRunning(engine).reduce((sum, sequence) => sum + getSize(sequence), 0);
 
-const compareOrder = (left: EngineSequence, right: EngineSequence): number =>
+const comparePriority = (left: EngineSequence, right: EngineSequence): number =>
   right.priority - left.priority || left.arrivedAt - right.arrivedAt;
 
-const startWaiting = (engine: ModelEngine): void => {
+const startWaitingSequences = (engine: FluidEngine): void => {
   let used = countMemory(engine);
   const waiting = engine.sequences.filter((sequence) => sequence.phase === 'waiting');
-  for (const sequence of waiting.sort(compareOrder)) {
+  for (const sequence of waiting.sort(comparePriority)) {
     const size = getSize(sequence);
     if (used > 0 && used + size > engine.memoryTokens * (1 - START_MEMORY_SHARE)) return;
     sequence.phase = 'prefill';
@@ -77,10 +77,10 @@
   }
 };
 
-const runPrefill = (engine: ModelEngine, durationMs: Millis): boolean => {
+const runPrefill = (engine: FluidEngine, durationMs: Millis): boolean => {
   let budget = durationMs * PREFILL_TOKENS_PER_MS;
   const prefilling = engine.sequences.filter((sequence) => sequence.phase === 'prefill');
-  for (const sequence of prefilling.sort(compareOrder)) {
+  for (const sequence of prefilling.sort(comparePriority)) {
     const done = Math.min(budget, sequence.prefillLeft);
     sequence.prefillLeft -= done;
     budget -= done;
@@ -90,8 +90,8 @@
 };
 
 /** Preempts the sequence of the lowest priority that came last, until memory suffices. */
-const clearOverflow = (engine: ModelEngine): void => {
-  const running = listRunning(engine).sort(compareOrder);
+const resolveOverflow = (engine: FluidEngine): void => {
+  const running = listRunning(engine).sort(comparePriority);
   let used = running.reduce((sum, sequence) => sum + getSize(sequence), 0);
   while (used > engine.memoryTokens && running.length > 1) {
     const victim = running.pop();
@@ -110,8 +110,8 @@
  * @param durationMs - length of the step
  * @returns sequences that finished or showed their first token
  */
-export const runEngine = (engine: ModelEngine, durationMs: Millis): EngineStep => {
-  startWaiting(engine);
+export const runEngine = (engine: FluidEngine, durationMs: Millis): EngineStep => {
+  startWaitingSequences(engine);
   const isPrefilling = runPrefill(engine, durationMs);
   const decoding = engine.sequences.filter((sequence) => sequence.phase === 'decoding');
   const slowDown = isPrefilling ? PREFILL_SLOW_DOWN : 1;
@@ -129,6 +129,6 @@
   }
   const finished = decoding.filter((sequence) => sequence.generated >= sequence.outputTokens);
   engine.sequences = engine.sequences.filter((sequence) => !finished.includes(sequence));
-  clearOverflow(engine);
+  resolveOverflow(engine);
   return { finished, firstTokens };
 };
--- a/packages/decisions/placement/eligible.ts
+++ b/packages/decisions/placement/eligible.ts
@@ -2,13 +2,13 @@
 import type {
   EndpointPhase,
   EndpointView,
-  OwnView,
+  PlacementTableView,
   PlacementRequest,
   PlacementTarget,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-const isOpenPhase = (phase: EndpointPhase): boolean => {
+const isAcceptingPhase = (phase: EndpointPhase): boolean => {
   switch (phase) {
     case 'starting':
     case 'ramping':
@@ -23,7 +23,7 @@
   }
 };
 
-const isServing = (endpoint: EndpointView, target: PlacementTarget): boolean => {
+const isServingTarget = (endpoint: EndpointView, target: PlacementTarget): boolean => {
   switch (target.kind) {
     case 'model':
       return (
@@ -45,12 +45,12 @@
  * @param own - this daemon's placements
  * @returns number of requests, at least 0
  */
-export const countRequests = (endpoint: EndpointView, own: OwnView): number => {
-  const load = own.getLoad(endpoint.endpoint);
+export const countRequests = (endpoint: EndpointView, placements: PlacementTableView): number => {
+  const load = placements.getLoad(endpoint.endpoint);
   const reported = endpoint.running + endpoint.waiting;
   if (load === undefined) return reported;
   const count = Math.max(0, reported - load.endedCount) + load.newCount;
-  return Math.max(count, load.refusedAtCount);
+  return Math.max(count, load.requestsAtRefusal);
 };
 
 /**
@@ -61,8 +61,8 @@
  * @returns true when the request may be placed there
  */
 export const isCandidate = (request: PlacementRequest, endpoint: EndpointView): boolean =>
-  isServing(endpoint, request.target) &&
-  isOpenPhase(endpoint.phase) &&
+  isServingTarget(endpoint, request.target) &&
+  isAcceptingPhase(endpoint.phase) &&
   (request.pinned === undefined || request.pinned === endpoint.endpoint) &&
   !(request.excluded.size > 0 && request.excluded.has(endpoint.endpoint));
 
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -2,13 +2,13 @@
 import {
   DEFAULT_SEQUENCE_TOKENS_PER_SECOND,
   MAX_EXTRAPOLATION_MS,
-  PREFIX_FRESHNESS_MS,
+  PREFIX_DECAY_MS,
   PREFIX_GAP_FACTOR,
   SAME_DATA_CENTRE_BONUS,
 } from './constants.js';
 import type {
   EndpointView,
-  OwnView,
+  PlacementTableView,
   PlacementCandidate,
   PlacementPolicy,
   PlacementRequest,
@@ -30,19 +30,19 @@
 export type HeadroomPolicy = Extract<PlacementPolicy, { readonly kind: 'predicted-headroom' }>;
 
 /** An endpoint compared for a request, and whether its predicted memory admits the request. */
-export interface TestedEndpoint {
+export interface CandidateCheck {
   readonly view: EndpointView;
   readonly candidate: PlacementCandidate;
   readonly room: 'fits' | 'too-full';
   /** Worth of the cached prefix, as a share of memory. */
-  readonly prefixWorth: number;
+  readonly prefixBonus: number;
 }
 
 /** Inputs that are the same for all endpoints compared in one decision. */
 export interface HeadroomInputs {
   readonly policy: HeadroomPolicy;
   readonly request: PlacementRequest;
-  readonly own: OwnView;
+  readonly placements: PlacementTableView;
   readonly survival: SurvivalView;
   /** Predicted change by the request itself, per version of an endpoint. */
   readonly requestChanges: Map<VersionName, MemoryChange>;
@@ -62,12 +62,12 @@
 export const buildInputs = (
   policy: HeadroomPolicy,
   request: PlacementRequest,
-  own: OwnView,
+  placements: PlacementTableView,
   survival: SurvivalView,
 ): HeadroomInputs => ({
   policy,
   request,
-  own,
+  placements,
   survival,
   requestChanges: new Map(),
   scratch: createMemoryChange(),
@@ -98,32 +98,32 @@
   endpoint: EndpointView,
 ): MemoryPrediction => {
   const { request, survival, scratch } = inputs;
-  const load = inputs.own.getLoad(endpoint.endpoint);
-  const growth =
+  const load = inputs.placements.getLoad(endpoint.endpoint);
+  const growthSinceReport =
     (endpoint.tokensPerSecond * Math.min(endpoint.loadAgeMs, MAX_EXTRAPOLATION_MS)) / 1_000;
-  const kept = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
+  const heldTokens = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
   clearMemoryChange(scratch);
   mergeMemoryChange(scratch, getRequestChange(inputs, endpoint.version ?? ''));
   if (load !== undefined) mergeMemoryChange(scratch, load.change);
-  const unknown = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
-  if (unknown > 0) {
-    const tokens = Math.max(0, kept - (load?.includedTokens ?? 0));
-    applyUnknownSequences(scratch, survival, unknown, tokens / unknown);
+  const unknownCount = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
+  if (unknownCount > 0) {
+    const tokens = Math.max(0, heldTokens - (load?.includedTokens ?? 0));
+    applyUnknownSequences(scratch, survival, unknownCount, tokens / unknownCount);
   }
   // Preempted sequences hold no memory, but get it back before new work starts.
-  const preempted = (endpoint.waiting * kept) / Math.max(1, endpoint.running);
+  const preemptedTokens = (endpoint.waiting * heldTokens) / Math.max(1, endpoint.running);
   const budget: MemoryBudget = {
-    used: kept + growth + preempted + (load?.newTokens ?? 0),
+    used: heldTokens + growthSinceReport + preemptedTokens + (load?.newTokens ?? 0),
     total: computeClassMemory(endpoint.memoryTotalTokens, request.targets),
     horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
   };
   return estimateMemory(budget, scratch);
 };
 
-const computePrefixWorth = (inputs: HeadroomInputs, endpoint: EndpointView): number => {
+const computePrefixBonus = (inputs: HeadroomInputs, endpoint: EndpointView): number => {
   const { prefix } = inputs.request;
   if (prefix === undefined || !endpoint.prefixes.has(prefix)) return 0;
-  const freshness = Math.exp(-endpoint.prefixAgeMs / PREFIX_FRESHNESS_MS);
+  const freshness = Math.exp(-endpoint.prefixAgeMs / PREFIX_DECAY_MS);
   return inputs.policy.prefixWeight * freshness * PREFIX_GAP_FACTOR ** endpoint.prefixGaps;
 };
 
@@ -133,14 +133,15 @@
   requests: number,
   memory: MemoryPrediction,
 ): number => {
-  const near = endpoint.dataCentre === inputs.request.dataCentre ? SAME_DATA_CENTRE_BONUS : 0;
+  const localityBonus =
+    endpoint.dataCentre === inputs.request.dataCentre ? SAME_DATA_CENTRE_BONUS : 0;
   const freeSlots = 1 - (requests + 1) / endpoint.limit;
   switch (inputs.request.targets.answerLength) {
     case 'short':
       // A short answer ends before memory matters; it waits for the requests ahead of it.
-      return near + freeSlots;
+      return localityBonus + freeSlots;
     case 'long':
-      return near + memory.headroom;
+      return localityBonus + memory.headroom;
     default:
       return assertNever(inputs.request.targets.answerLength);
   }
@@ -158,7 +159,7 @@
   inputs: HeadroomInputs,
   endpoint: EndpointView,
   requests: number,
-): TestedEndpoint => {
+): CandidateCheck => {
   const memory: MemoryPrediction =
     endpoint.memoryTotalTokens > 0
       ? estimateEndpointMemory(inputs, endpoint)
@@ -167,18 +168,18 @@
     inputs.request.targets,
     inputs.policy.overflowProbability,
   );
-  const prefixWorth = computePrefixWorth(inputs, endpoint);
+  const prefixBonus = computePrefixBonus(inputs, endpoint);
   return {
     view: endpoint,
     candidate: {
       endpoint: endpoint.endpoint,
-      score: computeScore(inputs, endpoint, requests, memory) + prefixWorth,
+      score: computeScore(inputs, endpoint, requests, memory) + prefixBonus,
       requests,
       overflowProbability: memory.overflowProbability,
       headroom: memory.headroom,
     },
     // An idle engine takes any request, or one that is longer than expected would wait for ever.
     room: requests === 0 || memory.overflowProbability <= accepted ? 'fits' : 'too-full',
-    prefixWorth,
+    prefixBonus,
   };
 };
--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -1,5 +1,5 @@
 import { FORECAST_REFRESH_SHARE, FORECAST_REFRESH_TOKENS } from './constants.js';
-import type { OwnLoad, OwnPlacement, OwnView, ReportState } from './types.js';
+import type { LocalLoad, LocalPlacement, PlacementTableView, ReportState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId, RequestId } from '../../core/ids.js';
 import { applySequence, createMemoryChange, mergeMemoryChange } from '../survival/forecast.js';
@@ -8,21 +8,21 @@
 
 type Writable<T> = { -readonly [K in keyof T]: T[K] };
 
-interface Tracked extends Writable<OwnPlacement> {
+interface TrackedPlacement extends Writable<LocalPlacement> {
   change: MemoryChange;
   /** Tokens generated when `change` was computed. */
-  forecastAt: number;
+  generatedAtForecast: number;
 }
 
-interface Ended {
+interface EndedPlacement {
   readonly endedAt: Millis;
   readonly tokens: number;
 }
 
 interface EndpointEntry {
-  readonly load: Writable<OwnLoad>;
-  readonly placements: Map<RequestId, Tracked>;
-  ended: readonly Ended[];
+  readonly load: Writable<LocalLoad>;
+  readonly placements: Map<RequestId, TrackedPlacement>;
+  ended: readonly EndedPlacement[];
   refusedAt: Millis;
 }
 
@@ -31,8 +31,8 @@
  * place, since one daemon holds thousands of placements and their tokens arrive all the time; it
  * has one owner.
  */
-export interface OwnTable extends OwnView {
-  readonly trackPlacement: (placement: OwnPlacement) => void;
+export interface OwnTable extends PlacementTableView {
+  readonly trackPlacement: (placement: LocalPlacement) => void;
   /** Records progress of a placement; unknown requests are ignored. */
   readonly updateProgress: (requestId: RequestId, generated: number) => void;
   /** Ends a placement. */
@@ -46,7 +46,7 @@
   readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
   /** Forgets an endpoint that is gone, with its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
-  readonly listPlacements: (endpoint: EndpointId) => readonly OwnPlacement[];
+  readonly listPlacements: (endpoint: EndpointId) => readonly LocalPlacement[];
 }
 
 const createEntry = (): EndpointEntry => ({
@@ -57,7 +57,7 @@
     newTokens: 0,
     endedCount: 0,
     endedTokens: 0,
-    refusedAtCount: 0,
+    requestsAtRefusal: 0,
     change: createMemoryChange(),
   },
   placements: new Map(),
@@ -66,7 +66,7 @@
 });
 
 const updateSums = (
-  load: Writable<OwnLoad>,
+  load: Writable<LocalLoad>,
   report: ReportState,
   count: number,
   tokens: number,
@@ -80,13 +80,13 @@
   load.newTokens += tokens;
 };
 
-const getSize = (placement: OwnPlacement): number => placement.promptTokens + placement.generated;
+const getSize = (placement: LocalPlacement): number => placement.promptTokens + placement.generated;
 
-const isForecastOld = (tracked: Tracked): boolean =>
-  tracked.generated - tracked.forecastAt >=
-  Math.max(FORECAST_REFRESH_TOKENS, tracked.forecastAt * FORECAST_REFRESH_SHARE);
+const isForecastStale = (tracked: TrackedPlacement): boolean =>
+  tracked.generated - tracked.generatedAtForecast >=
+  Math.max(FORECAST_REFRESH_TOKENS, tracked.generatedAtForecast * FORECAST_REFRESH_SHARE);
 
-const buildChange = (survival: SurvivalView, placement: OwnPlacement): MemoryChange => {
+const buildMemoryChange = (survival: SurvivalView, placement: LocalPlacement): MemoryChange => {
   const change = createMemoryChange();
   applySequence(change, survival.getCurve(placement), placement.generated, getSize(placement));
   return change;
@@ -100,8 +100,8 @@
  */
 export const createOwnTable = (survival: SurvivalView): OwnTable => {
   const entries = new Map<EndpointId, EndpointEntry>();
-  const endpointOf = new Map<RequestId, EndpointId>();
-  let turn = 0;
+  const endpointByRequest = new Map<RequestId, EndpointId>();
+  let placementCount = 0;
 
   const getEntry = (endpoint: EndpointId): EndpointEntry => {
     const known = entries.get(endpoint);
@@ -112,7 +112,7 @@
   };
 
   const findTracked = (requestId: RequestId) => {
-    const endpoint = endpointOf.get(requestId);
+    const endpoint = endpointByRequest.get(requestId);
     const entry = endpoint === undefined ? undefined : entries.get(endpoint);
     const tracked = entry?.placements.get(requestId);
     return entry === undefined || tracked === undefined ? undefined : { entry, tracked };
@@ -123,9 +123,9 @@
     if (found === undefined) return;
     const { entry, tracked } = found;
     const tokens = getSize(tracked);
-    endpointOf.delete(requestId);
+    endpointByRequest.delete(requestId);
     entry.placements.delete(requestId);
-    entry.load.refusedAtCount = 0;
+    entry.load.requestsAtRefusal = 0;
     updateSums(entry.load, tracked.report, -1, -tokens);
     mergeMemoryChange(entry.load.change, tracked.change, -1);
     // Sums of differences collect rounding errors; an idle endpoint starts again from zero.
@@ -137,15 +137,15 @@
   };
 
   return {
-    getTurn: () => turn,
+    getPlacementCount: () => placementCount,
     getLoad: (endpoint) => entries.get(endpoint)?.load,
     trackPlacement: (placement) => {
-      turn += 1;
+      placementCount += 1;
       const entry = getEntry(placement.endpoint);
-      const change = buildChange(survival, placement);
-      const tracked = { ...placement, change, forecastAt: placement.generated };
+      const change = buildMemoryChange(survival, placement);
+      const tracked = { ...placement, change, generatedAtForecast: placement.generated };
       entry.placements.set(placement.requestId, tracked);
-      endpointOf.set(placement.requestId, placement.endpoint);
+      endpointByRequest.set(placement.requestId, placement.endpoint);
       updateSums(entry.load, placement.report, 1, getSize(placement));
       mergeMemoryChange(entry.load.change, change);
     },
@@ -155,16 +155,16 @@
       const { entry, tracked } = found;
       updateSums(entry.load, tracked.report, 0, generated - tracked.generated);
       tracked.generated = generated;
-      if (!isForecastOld(tracked)) return;
+      if (!isForecastStale(tracked)) return;
       mergeMemoryChange(entry.load.change, tracked.change, -1);
-      tracked.change = buildChange(survival, tracked);
-      tracked.forecastAt = generated;
+      tracked.change = buildMemoryChange(survival, tracked);
+      tracked.generatedAtForecast = generated;
       mergeMemoryChange(entry.load.change, tracked.change);
     },
     releasePlacement,
     recordRefusal: (endpoint, count, now) => {
       const entry = getEntry(endpoint);
-      entry.load.refusedAtCount = count;
+      entry.load.requestsAtRefusal = count;
       entry.refusedAt = now;
     },
     settleReport: (endpoint, takenAt) => {
@@ -176,14 +176,14 @@
         tracked.report = 'included';
         updateSums(entry.load, 'included', 1, getSize(tracked));
       }
-      if (takenAt >= entry.refusedAt) entry.load.refusedAtCount = 0;
+      if (takenAt >= entry.refusedAt) entry.load.requestsAtRefusal = 0;
       entry.ended = entry.ended.filter((item) => item.endedAt > takenAt);
       entry.load.endedCount = entry.ended.length;
       entry.load.endedTokens = entry.ended.reduce((sum, item) => sum + item.tokens, 0);
     },
     removeEndpoint: (endpoint) => {
       for (const requestId of entries.get(endpoint)?.placements.keys() ?? []) {
-        endpointOf.delete(requestId);
+        endpointByRequest.delete(requestId);
       }
       entries.delete(endpoint);
     },
--- a/packages/decisions/placement/types.ts
+++ b/packages/decisions/placement/types.ts
@@ -76,7 +76,7 @@
 export type ReportState = 'included' | 'not-included';
 
 /** A request that this daemon placed and that is still in flight. */
-export interface OwnPlacement {
+export interface LocalPlacement {
   readonly requestId: RequestId;
   readonly endpoint: EndpointId;
   readonly className: ClassName;
@@ -89,7 +89,7 @@
 }
 
 /** Sums over this daemon's placements at one endpoint. */
-export interface OwnLoad {
+export interface LocalLoad {
   /** Placements that the last load report counts. */
   readonly includedCount: number;
   readonly includedTokens: number;
@@ -100,16 +100,16 @@
   readonly endedCount: number;
   readonly endedTokens: number;
   /** Requests that the endpoint had at least when it last refused one for lack of room. */
-  readonly refusedAtCount: number;
+  readonly requestsAtRefusal: number;
   /** Predicted change of memory by the placements in flight. */
   readonly change: MemoryChange;
 }
 
 /** Read-only view of this daemon's placements. */
-export interface OwnView {
+export interface PlacementTableView {
   /** Placements made so far; the turn of round-robin. */
-  readonly getTurn: () => number;
-  readonly getLoad: (endpoint: EndpointId) => OwnLoad | undefined;
+  readonly getPlacementCount: () => number;
+  readonly getLoad: (endpoint: EndpointId) => LocalLoad | undefined;
 }
 
 /** What is to be placed. */
