Reword the comments of the survival estimates

Phrases such as "whose output lengths", "goes on", "was cut inside" and "a life" stood for keys, survival and censoring.

--- a/packages/decisions/survival/forecast.test.ts
+++ b/packages/decisions/survival/forecast.test.ts
@@ -9,8 +9,8 @@
 import { computeSurvival, PRIOR_CURVE } from './hazard.js';
 import { createRandomSource } from '../../core/random.js';
 
-// Guards against a tail that is wrong in sign or scale.
-test('the normal tail has its known values', (t) => {
+// Guards against a wrong sign or scale of the normal tail approximation.
+test('the normal tail matches tabulated values', (t) => {
   for (const [z, expected] of [
     [0, 0.5],
     [1.644854, 0.05],
@@ -21,9 +21,9 @@
   }
 });
 
-// Guards against a forecast that misjudges overflow. The forecast is the largest probability of one
-// step, so the sampled one is too; overflow at any of the steps is up to 0.1 more probable.
-// Stated error: 0.05 for 4 to 64 sequences.
+// Guards against a biased overflow forecast. The forecast is the highest probability of any single
+// step, so the sampled value is too; the probability of an overflow at any of the steps is up to
+// 0.1 higher. The error must stay below 0.05 for 4 to 64 sequences.
 for (const count of [4, 16, 64]) {
   test(`the overflow probability of ${count.toString()} sequences matches sampling`, (t) => {
     const random = createRandomSource(count);
@@ -62,8 +62,8 @@
   });
 }
 
-// Guards against sums that keep a part of what was taken out.
-test('a change that was added and taken out again leaves nothing', (t) => {
+// Guards against sums that retain part of a subtracted change.
+test('adding a memory change and subtracting it again results in zero', (t) => {
   const sum = createMemoryChange();
   const change = createMemoryChange();
   applySequence(change, PRIOR_CURVE, 10, 500);
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -2,27 +2,27 @@
 import type { HazardCurve, SurvivalView } from './types.js';
 
 /**
- * Tokens per sequence after which memory is predicted. Between two steps the batch changes little
- * compared with the spread of the prediction.
+ * Forecast steps: tokens per sequence after which memory use is predicted. Between two steps the
+ * batch changes little compared with the spread of the prediction.
  */
 export const FORECAST_STEPS_TOKENS: readonly number[] = [16, 64, 256, 1_024, 4_096];
 
-/** Smallest survival that is told apart from 0. */
+/** Lower bound on survival probabilities before their logarithm is taken. */
 const MIN_SURVIVAL = 1e-12;
 
-/** Predicted change of memory at each forecast step: sums over sequences, in tokens. */
+/** Predicted change of memory use at each forecast step, in tokens: sums over sequences. */
 export interface MemoryChange {
   readonly mean: Float64Array;
   readonly variance: Float64Array;
   /** Third central moments. */
   readonly thirdMoment: Float64Array;
-  /** Change when no sequence ends before the step. */
+  /** Change if no sequence ends before the step. */
   readonly fullGrowth: Float64Array;
   /** Logarithm of the probability that no sequence ends before the step. */
   readonly logSurvival: Float64Array;
 }
 
-/** Memory of an engine against which a change is tested, in tokens. */
+/** Memory of an engine, in tokens, against which a predicted change is checked. */
 export interface MemoryBudget {
   readonly used: number;
   readonly total: number;
@@ -32,13 +32,13 @@
 
 /** Result of a memory prediction. */
 export interface MemoryPrediction {
-  /** Largest probability over the steps within the horizon that memory overflows. */
+  /** Highest probability of a memory overflow over the steps within the horizon. */
   readonly overflowProbability: number;
-  /** Smallest expected free share of memory over the same steps; negative when it overflows. */
+  /** Lowest expected free share of memory over the same steps; negative on overflow. */
   readonly headroom: number;
 }
 
-/** Creates a change of zero. */
+/** Creates a memory change of zero. */
 export const createMemoryChange = (): MemoryChange => ({
   mean: new Float64Array(FORECAST_STEPS_TOKENS.length),
   variance: new Float64Array(FORECAST_STEPS_TOKENS.length),
@@ -47,7 +47,7 @@
   logSurvival: new Float64Array(FORECAST_STEPS_TOKENS.length),
 });
 
-/** Resets a change to zero, in place. */
+/** Resets a memory change to zero, in place. */
 export const clearMemoryChange = (change: MemoryChange): void => {
   change.mean.fill(0);
   change.variance.fill(0);
@@ -71,18 +71,18 @@
   change.thirdMoment[step] =
     (change.thirdMoment[step] ?? 0) + variance * (1 - 2 * survival) * spread;
   change.fullGrowth[step] = (change.fullGrowth[step] ?? 0) + count * changeIfAlive;
-  // A logarithm of 0 could not be taken out of the sum again.
+  // The logarithm of 0 is -Infinity, which could not be subtracted from the sum again.
   change.logSurvival[step] =
     (change.logSurvival[step] ?? 0) + count * Math.log(Math.max(survival, MIN_SURVIVAL));
 };
 
 /**
- * Adds a sequence that holds memory now: it grows while it runs and frees its memory at its end.
+ * Adds a running sequence: its memory grows while it runs and is freed when it ends.
  *
  * @param change - sums, updated in place
- * @param curve - length estimate of the sequence's key
+ * @param curve - hazard curve of the sequence's key
  * @param generated - tokens generated so far
- * @param size - tokens of memory held now
+ * @param size - memory held now, in tokens
  */
 export const applySequence = (
   change: MemoryChange,
@@ -96,10 +96,10 @@
 };
 
 /**
- * Adds a request that holds no memory yet; its prompt counts while it runs.
+ * Adds a request that holds no memory yet; its prompt occupies memory while it runs.
  *
  * @param change - sums, updated in place
- * @param curve - length estimate of the sequence's key
+ * @param curve - hazard curve of the sequence's key
  * @param promptTokens - length of the prompt
  */
 export const applyNewSequence = (
@@ -114,12 +114,12 @@
 };
 
 /**
- * Adds running sequences of which only the number and the memory are known.
+ * Adds running sequences of which only the number and the mean memory are known.
  *
  * @param change - sums, updated in place
- * @param survival - length estimates
- * @param count - number of the sequences
- * @param size - mean tokens of memory that one of them holds
+ * @param survival - output length estimates
+ * @param count - number of sequences; nothing is added unless positive
+ * @param size - mean memory per sequence, in tokens
  */
 export const applyUnknownSequences = (
   change: MemoryChange,
@@ -134,11 +134,11 @@
 };
 
 /**
- * Adds one change to another.
+ * Adds one memory change to another, or subtracts it.
  *
  * @param target - updated in place
- * @param other - added
- * @param sign - -1 to take `other` out again
+ * @param other - change to add
+ * @param sign - 1 to add `other`, -1 to subtract it
  */
 export const mergeMemoryChange = (
   target: MemoryChange,
@@ -162,11 +162,10 @@
 const computeNormalDensity = (z: number): number => Math.exp((-z * z) / 2) / Math.sqrt(2 * Math.PI);
 
 /**
- * Computes the upper tail of the standard normal distribution.
+ * Computes the upper tail probability of the standard normal distribution.
  *
  * @param z - standard score
- * @returns the probability of a larger score; absolute error below 1e-7 (Abramowitz and Stegun
- *   26.2.17)
+ * @returns probability of a larger score; absolute error below 1e-7 (Abramowitz and Stegun 26.2.17)
  */
 export const computeNormalTail = (z: number): number => {
   if (z < 0) return 1 - computeNormalTail(-z);
@@ -178,10 +177,10 @@
 };
 
 /**
- * Estimates the probability of an overflow at one step by a normal approximation of the sum with
- * Edgeworth's correction for skewness, since mostly all sequences grow a little and rarely one frees
- * much. With few sequences that is not enough, and the probability that all grow is a lower bound
- * when their growth does not fit.
+ * Estimates the overflow probability at one step by a normal approximation with an Edgeworth
+ * correction for skewness. The sum is skewed because sequences usually grow a little and rarely end
+ * and free a lot. The approximation is poor for few sequences, so the probability that no sequence
+ * ends serves as a lower bound when their combined growth does not fit.
  */
 const estimateStep = (free: number, change: MemoryChange, step: number): number => {
   const deviation = Math.sqrt(change.variance[step] ?? 0) + 1;
@@ -196,8 +195,8 @@
 /**
  * Predicts whether memory overflows within the horizon.
  *
- * @param budget - memory now and horizon
- * @param change - sums over the sequences, with the request under decision
+ * @param budget - current memory use, and horizon
+ * @param change - sums over the sequences, including the request under decision
  * @returns overflow probability and expected headroom
  */
 export const estimateMemory = (budget: MemoryBudget, change: MemoryChange): MemoryPrediction => {
--- a/packages/decisions/survival/hazard.ts
+++ b/packages/decisions/survival/hazard.ts
@@ -2,27 +2,30 @@
 import { MAX_HAZARD, MAX_TOKENS, PRIOR_SCALE_TOKENS, PRIOR_SHAPE } from './constants.js';
 import type { HazardCurve, RemainingEstimate } from './types.js';
 
-/** How a generation was seen to end. */
+/** How the observation of a generation ended; `censored` if the full length is unknown. */
 export type ObservedEnd = 'finished' | 'censored';
 
-/** Counts from which a hazard is estimated; they decay, so they are no whole numbers. */
+/** Observation counts from which hazards are estimated; fractional, since they decay. */
 export interface HazardCounts {
   readonly ends: Float64Array;
-  /** Generations that entered each bucket; one that was cut inside counts as the share it saw. */
+  /**
+   * Generations that entered each bucket. One that was censored within a bucket counts as the share
+   * of the bucket that it passed.
+   */
   readonly entered: Float64Array;
 }
 
-/** Creates counts without observations. */
+/** Creates empty observation counts. */
 export const createHazardCounts = (): HazardCounts => ({
   ends: new Float64Array(BUCKET_COUNT),
   entered: new Float64Array(BUCKET_COUNT),
 });
 
 /**
- * Builds a curve from its rates.
+ * Builds a hazard curve from its rates.
  *
  * @param rates - hazard per token in each bucket
- * @returns the curve
+ * @returns the curve, with the integral of its rates
  */
 export const buildCurve = (rates: Float64Array): HazardCurve => {
   const cumulative = new Float64Array(BUCKET_COUNT);
@@ -33,7 +36,7 @@
   return { rates, cumulative };
 };
 
-/** Curve before any observation. */
+/** Hazard curve before any observation. */
 export const PRIOR_CURVE: HazardCurve = buildCurve(
   Float64Array.from(BUCKET_STARTS, (start, bucket) => {
     const middle = start + (BUCKET_WIDTHS[bucket] ?? 0) / 2;
@@ -42,9 +45,9 @@
 );
 
 /**
- * Computes the probability that a generation that entered a bucket ends in it.
+ * Computes the probability that a generation that entered a bucket ends within it.
  *
- * @param curve - hazard
+ * @param curve - hazard curve
  * @param bucket - index of the bucket
  * @returns probability in [0, 1]
  */
@@ -52,12 +55,13 @@
   1 - Math.exp(-(curve.rates[bucket] ?? 0) * (BUCKET_WIDTHS[bucket] ?? 0));
 
 /**
- * Estimates a curve from counts, shrunk towards a parent: the parent's hazard stands
- * for `strength` generations that entered each bucket. Hazards are estimated as the share that ends
- * in a bucket, since a rate from token counts is too low where lengths pile up within one bucket.
+ * Estimates a hazard curve from counts, shrunk towards a parent: the parent's hazard weighs as much
+ * as `strength` generations that entered each bucket. The hazard of a bucket is the share of
+ * generations that end in it; a rate computed from token counts would be too low where many lengths
+ * fall into one bucket.
  *
- * @param counts - observations
- * @param parent - curve to shrink to
+ * @param counts - observation counts
+ * @param parent - curve to shrink towards
  * @param strength - weight of the parent, in generations
  * @returns the estimated curve
  */
@@ -77,12 +81,12 @@
 };
 
 /**
- * Adds one generation to counts after decaying the older ones.
+ * Adds one generation to the counts after decaying the older ones.
  *
  * @param counts - updated in place
- * @param tokens - length seen
- * @param end - whether the generation finished or was cut
- * @param decay - factor on the older observations
+ * @param tokens - observed length
+ * @param end - whether the generation finished or was censored
+ * @param decay - factor on the weight of older observations
  */
 export const applyObservation = (
   counts: HazardCounts,
@@ -108,12 +112,12 @@
 };
 
 /**
- * Computes the probability that a generation goes on.
+ * Computes the probability that a generation produces at least a number of further tokens.
  *
- * @param curve - hazard
- * @param generated - tokens so far
- * @param tokens - further tokens
- * @returns probability in [0, 1]; 0 beyond the tracked lengths
+ * @param curve - hazard curve
+ * @param generated - tokens generated so far
+ * @param tokens - number of further tokens
+ * @returns probability in [0, 1]; 0 from `MAX_TOKENS` on
  */
 export const computeSurvival = (curve: HazardCurve, generated: number, tokens: number): number => {
   if (generated + tokens >= MAX_TOKENS) return 0;
@@ -121,7 +125,10 @@
   return Math.exp(passed - computeCumulative(curve, generated + tokens));
 };
 
-/** First and second moment of the part of a lifetime that lies in one bucket. */
+/**
+ * Computes a bucket's contribution to the first and second moment of the remaining length, and the
+ * probability of surviving the bucket.
+ */
 const computeMoments = (rate: number, width: number, offset: number) => {
   if (rate * width < 1e-6) {
     return { first: width, second: width * (2 * offset + width), alive: 1 - rate * width };
@@ -152,12 +159,12 @@
 };
 
 /**
- * Computes the further tokens that a generation does not exceed with a probability.
+ * Computes a quantile of the number of tokens that a generation has yet to produce.
  *
- * @param curve - hazard
- * @param generated - tokens so far
+ * @param curve - hazard curve
+ * @param generated - tokens generated so far
  * @param p - probability in [0, 1]
- * @returns tokens, finite
+ * @returns number of further tokens not exceeded with probability `p`; finite
  */
 export const computeQuantile = (curve: HazardCurve, generated: number, p: number): number => {
   const from = Math.min(Math.max(generated, 0), MAX_TOKENS - 1);
@@ -174,10 +181,10 @@
 };
 
 /**
- * Estimates the tokens that a generation has still to produce.
+ * Estimates the number of tokens that a generation has yet to produce.
  *
- * @param curve - hazard
- * @param generated - tokens so far
+ * @param curve - hazard curve
+ * @param generated - tokens generated so far
  * @returns mean and variance, both finite, and quantiles
  */
 export const estimateRemainingTokens = (
@@ -189,11 +196,13 @@
 });
 
 /**
- * Computes the probability that a generation seen at a random moment of its life goes on.
+ * Computes the probability that a generation, observed at a random point of its output, produces at
+ * least a number of further tokens.
  *
- * @param curve - hazard
- * @param tokens - further tokens
- * @returns probability in [0, 1]: the share of all tokens that come after the first `tokens` ones
+ * @param curve - hazard curve
+ * @param tokens - number of further tokens
+ * @returns probability in [0, 1]: the expected share of a generation's tokens after the first
+ *   `tokens`
  */
 export const computeUnknownSurvival = (curve: HazardCurve, tokens: number): number => {
   const total = computeRemaining(curve, 0).mean;
--- a/packages/decisions/survival/survival.test.ts
+++ b/packages/decisions/survival/survival.test.ts
@@ -17,11 +17,11 @@
   customer: fc.constantFrom('a', 'b', 'c'),
 });
 
-/** Lengths of a Lomax distribution: a long tail, like generated answers. */
+/** Samples a Lomax distribution, which has a long tail as the lengths of generated answers do. */
 const sampleLength = (uniform: number, scale: number): number =>
   Math.floor(scale * ((1 - uniform) ** (-1 / 2.5) - 1));
 
-// Guards against lengths counted in a bucket that does not hold them.
+// Guards against lengths counted in the wrong bucket.
 test('every length lies in its bucket', (t) => {
   fc.assert(
     fc.property(fc.integer({ min: 0, max: MAX_TOKENS - 1 }), (tokens) => {
@@ -34,7 +34,7 @@
   t.is(findBucket(10 * MAX_TOKENS), BUCKET_COUNT - 1);
 });
 
-// Guards against estimates that break the memory forecast: negative, infinite or not a number.
+// Guards against negative, infinite and NaN estimates, which would break the memory forecast.
 test('hazards are probabilities and remaining lengths are finite after any observations', (t) => {
   fc.assert(
     fc.property(
@@ -69,7 +69,8 @@
   t.pass();
 });
 
-// Guards against a biased estimate. Stated error: 0.05 on survival, 25% on the mean; the curve must match the distribution that was sampled.
+// Guards against a biased estimate: the curve must match the sampled distribution with an error
+// below 0.05 for survival and 25% for the mean.
 test('survival converges to the sampled distribution, with a third of the lengths censored', (t) => {
   const random = createRandomSource(11);
   const table = createSurvivalTable();
@@ -89,7 +90,7 @@
   t.true(Math.abs(mean / truth - 1) < 0.25, mean.toString());
 });
 
-// Guards against estimates that stay with the past when a customer changes its habits.
+// Guards against estimates that lag behind when a customer's output lengths change.
 test('estimates follow a change of the distribution', (t) => {
   const random = createRandomSource(12);
   const table = createSurvivalTable();
@@ -103,8 +104,8 @@
   t.true(table.estimateRemaining(memo, 0).mean < before / 8);
 });
 
-// Guards against a new customer that is treated as unknown although its class is known.
-test('a key without observations takes the estimate of its class', (t) => {
+// Guards against using the prior for a new customer although its class has been observed.
+test('a key without observations uses the estimate of its class', (t) => {
   const table = createSurvivalTable();
   for (let count = 0; count < 500; count += 1) table.observeFinished(memo, 20);
   const other = { ...memo, customer: 'new' };
@@ -112,8 +113,8 @@
   t.true(table.estimateRemaining({ ...other, className: 'sweep' }, 0).quantile(0.9) > 200);
 });
 
-// Guards against a table that grows with every customer that was ever seen.
-test('the number of tracked keys stays within its bound and the least recent goes first', (t) => {
+// Guards against a table that grows with the number of customers ever observed.
+test('the number of tracked keys stays within its bound and the least recent key is evicted', (t) => {
   const table = createSurvivalTable({ maxKeys: 10 });
   for (let count = 0; count < 400; count += 1) table.observeFinished(memo, 10);
   for (let customer = 0; customer < 9; customer += 1) {
--- a/packages/decisions/survival/survivalTable.ts
+++ b/packages/decisions/survival/survivalTable.ts
@@ -17,25 +17,25 @@
 import type { HazardCounts, ObservedEnd } from './hazard.js';
 import type { HazardCurve, SurvivalKey, SurvivalView } from './types.js';
 
-/** Bounds of a table. */
+/** Size bounds of a table. */
 export interface SurvivalOptions {
   readonly maxKeys?: number;
   readonly maxClasses?: number;
 }
 
 /**
- * Streaming estimates of output lengths. The table holds thousands of keys and learns from every
- * generation, so it is updated in place; it has one owner.
+ * Online estimates of output lengths. The table is mutable, since it holds thousands of keys and is
+ * updated after every generation; it must have a single owner.
  */
 export interface SurvivalTable extends SurvivalView {
   /** Records the length of a finished generation. */
   readonly observeFinished: (key: SurvivalKey, tokens: number) => void;
-  /** Records that a generation was cancelled, or cut, after `tokens` tokens. */
+  /** Records that a generation was cancelled or cut off after `tokens` tokens. */
   readonly observeCensored: (key: SurvivalKey, tokens: number) => void;
   readonly countKeys: () => number;
 }
 
-/** Counts with the curve computed from them and from a parent's curve. */
+/** Observation counts, and the cached curve estimated from them and a parent's curve. */
 interface EstimateNode {
   readonly counts: HazardCounts;
   curve: HazardCurve | undefined;
@@ -65,7 +65,11 @@
   node.curve = undefined;
 };
 
-/** Takes a node out of the map and puts it last, so that the first entry is the least recent. */
+/**
+ * Returns the node of a name, created if needed, and moves it to the end of the map. The first
+ * entry is therefore the least recently observed one, which is evicted when the map exceeds its
+ * bound.
+ */
 const selectNode = (
   nodes: Map<string, EstimateNode>,
   name: string,
@@ -81,14 +85,18 @@
   return node;
 };
 
-/** Joins with a control character that names cannot contain; JSON took most of a decision's time. */
+/**
+ * Joins the parts with a control character that names cannot contain. Formatting keys as JSON took
+ * most of the time of a placement decision.
+ */
 const formatKey = (key: SurvivalKey): string =>
   `${key.className}\u0000${key.customer}\u0000${key.version}`;
 
 /**
- * Creates a table of length estimates. A key shrinks to its class, and a class to the prior.
+ * Creates a table of length estimates. The estimate of a key is shrunk towards that of its class,
+ * and the estimate of a class towards the prior.
  *
- * @param options - bounds on the tracked keys and classes
+ * @param options - bounds on the number of tracked keys and classes
  * @returns an empty table
  */
 export const createSurvivalTable = (options: SurvivalOptions = {}): SurvivalTable => {
