Reword the comments and test titles of placement

Comments spoke of room, worth, turns and what endpoints take, and some told a consequence without its rule. They name limits, score bonuses, candidates and free slots now, with each reason kept. Two refusal messages say that an endpoint accepts no work instead of takes none.

--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -74,8 +74,9 @@
 ];
 
 for (const policy of policies) {
-  // Guards against new work on endpoints that drain, are suspect, excluded or serve something else.
-  test(`${policy.kind} never chooses an endpoint that may not take the request`, (t) => {
+  // Guards against placing requests on endpoints that are draining, suspect, gone, excluded or
+  // serve another model.
+  test(`${policy.kind} never chooses an endpoint that may not serve the request`, (t) => {
     const closed = [
       buildEndpoint('draining', { phase: 'draining' }),
       buildEndpoint('suspect', { phase: 'suspect' }),
@@ -90,8 +91,8 @@
     t.is(placed.kind === 'place' ? placed.endpoint : placed.kind, 'open');
   });
 
-  // Guards against a limit that is overrun between two load reports.
-  test(`${policy.kind} counts own placements since the report towards the limit`, (t) => {
+  // Guards against exceeding the limit between two load reports.
+  test(`${policy.kind} counts its placements since the last report towards the limit`, (t) => {
     const placements = createOwnTable(survival);
     const endpoints = [buildEndpoint('cold', { limit: 2, running: 1 })];
     placements.trackPlacement(buildPlacement('a', 'cold'));
@@ -103,8 +104,8 @@
     t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'place');
   });
 
-  // Guards against sending to a full endpoint again and again while its last report shows room.
-  test(`${policy.kind} avoids an endpoint that refused for lack of room until its next report`, (t) => {
+  // Guards against repeated sends to a full endpoint whose last report still shows free slots.
+  test(`${policy.kind} avoids an endpoint that refused for lack of capacity until its next report`, (t) => {
     const placements = createOwnTable(survival);
     const endpoints = [buildEndpoint('full', { limit: 2, running: 0 })];
     placements.recordRefusal('full', 2, 2_000);
@@ -134,9 +135,9 @@
   prefixes: fc.constantFrom(new Set<string>(), new Set(['p'])),
 });
 
-// Guards against any mix of endpoints that gets work over a limit, a wait although a slot is free,
-// or a refusal although an endpoint serves the target.
-test('decisions agree with the endpoints for every policy', (t) => {
+// Guards against placing a request over a limit, waiting although a slot is free, and refusing
+// although an endpoint serves the target, for any mix of endpoints.
+test('decisions of every policy are consistent with the state of the endpoints', (t) => {
   fc.assert(
     fc.property(
       fc.array(endpointChange, { maxLength: 30 }),
@@ -174,8 +175,8 @@
   t.pass();
 });
 
-// Guards against a baseline that skips endpoints or prefers some.
-test('round-robin gives every endpoint its turn', (t) => {
+// Guards against a round-robin baseline that skips or prefers endpoints.
+test('round-robin cycles through all endpoints', (t) => {
   const placements = createOwnTable(survival);
   const endpoints = ['a', 'b', 'c'].map((name) => buildEndpoint(name));
   const chosen = [1, 2, 3, 4, 5, 6].map((number) => {
@@ -187,7 +188,7 @@
   t.deepEqual(chosen, ['a', 'b', 'c', 'a', 'b', 'c']);
 });
 
-// Guards against placing by request count when the count hides full memory.
+// Guards against placing by request count on an engine with few requests but little free memory.
 test('predicted-headroom avoids an engine whose memory will overflow', (t) => {
   const full = buildEndpoint('full', { running: 4, memoryUsedTokens: 94_000 });
   const free = buildEndpoint('free', { running: 20, memoryUsedTokens: 40_000 });
@@ -198,8 +199,8 @@
   t.deepEqual(choose([full]), { kind: 'wait', reason: 'memory-full' });
 });
 
-// Guards against a stale cache sketch that outweighs real headroom.
-test('a cached prefix attracts a request while the knowledge is fresh', (t) => {
+// Guards against stale knowledge of cached prefixes that outweighs actual headroom.
+test('a cached prefix attracts a request only while the cache events are recent', (t) => {
   const request = buildRequest({ prefix: 'p' });
   const near = buildEndpoint('near', { memoryUsedTokens: 8_000 });
   const choosePrefixed = (changes: Partial<EndpointView>) => {
@@ -213,7 +214,7 @@
 });
 
 // Guards against short lookups that queue behind long answers.
-test('the last slots are kept for critical classes, which go where the wait is shortest', (t) => {
+test('the last slots are reserved for critical classes, which go where the wait is shortest', (t) => {
   const nearlyFull = buildEndpoint('a', { limit: 20, running: 19 });
   t.is(choose([nearlyFull]).kind, 'wait');
   const lookup = buildRequest({
@@ -225,8 +226,8 @@
   t.is(decision.kind === 'place' ? decision.endpoint : '', 'b');
 });
 
-// Guards against sums per endpoint that drift from the placements they stand for.
-test('own sums return to zero when all placements ended and were reported', (t) => {
+// Guards against totals per endpoint that drift from the tracked placements.
+test('the totals of an endpoint return to zero after all placements ended and were reported', (t) => {
   const placements = createOwnTable(survival);
   for (let number = 0; number < 50; number += 1) {
     placements.trackPlacement(buildPlacement(number.toString(), 'a'));
--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -60,11 +60,14 @@
   kind: 'refuse',
   failure:
     request.pinned === undefined
-      ? createFailure('not-run', 'no-endpoint', 'no endpoint that takes work serves the request')
-      : createFailure('not-run', 'no-endpoint', `endpoint ${request.pinned} takes no work`),
+      ? createFailure('not-run', 'no-endpoint', 'no endpoint that accepts work serves the request')
+      : createFailure('not-run', 'no-endpoint', `endpoint ${request.pinned} accepts no work`),
 });
 
-/** Full endpoints may get room soon, while missing ones would let the caller wait in vain. */
+/**
+ * Waits if a full endpoint may free a slot; refuses if none serves the target, since waiting cannot
+ * help.
+ */
 const decideWithoutSlot = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -73,7 +76,10 @@
     ? buildWait(request, 'at-limit')
     : buildRefusal(request);
 
-/** Walks from the turn's place in the whole list, so that a full endpoint does not shift the rest. */
+/**
+ * Starts at the round-robin position among all candidates and skips full endpoints, so that a full
+ * endpoint does not shift the turn of the others.
+ */
 const chooseRoundRobin = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -106,13 +112,17 @@
     fewest = requests;
     tied.push(view);
   }
-  // Ties are broken by chance, so that entry daemons with the same view do not herd.
+  // Ties are broken randomly, so that entry daemons with the same view do not pick the same
+  // endpoint.
   const view = tied[Math.floor(random.next() * tied.length)];
   if (view === undefined) return decideWithoutSlot(request, endpoints);
   return buildPlaced(request, view, 'fewest-requests', [buildBaselineCandidate(view, fewest)]);
 };
 
-/** Starts at a random place, so that several holders share the requests of one prefix. */
+/**
+ * Finds an endpoint that has the request's prefix cached. The search starts at a random position,
+ * so that several such endpoints share the requests of one prefix.
+ */
 const findPrefixHolder = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -132,16 +142,17 @@
   return best;
 };
 
-/** Picks a stride that visits every endpoint once: a prime that does not divide their number. */
+/** Picks a stride that visits every endpoint once: a prime that does not divide the count. */
 const pickStride = (count: number, random: RandomSource): number => {
   const stride = SAMPLING_STRIDES[Math.floor(random.next() * SAMPLING_STRIDES.length)] ?? 1;
   return count % stride === 0 ? 1 : stride;
 };
 
 /**
- * Tests endpoints in random order until enough of them fit; the holder of the prefix goes first.
- * Endpoints without a free slot cost no test, and no list of all endpoints is built. In a large fleet
- * a request may wait although a slot is free somewhere, when none of a large sample has one.
+ * Checks endpoints in random order until enough of them fit, starting with the one that has the
+ * prefix cached. Memory is predicted only for endpoints with a free slot, and no list of all
+ * endpoints is built. In a large fleet a request may wait although some endpoint has a free slot,
+ * if none of the `MAX_SLOT_CHECKS` sampled endpoints has one.
  */
 const checkCandidates = (
   inputs: HeadroomInputs,
@@ -201,15 +212,15 @@
 };
 
 /**
- * Chooses the endpoint of a request.
+ * Chooses the endpoint for a request.
  *
- * @param policy - how to choose among the endpoints that may take it
- * @param request - what is to be placed
+ * @param policy - how to choose among the endpoints that may serve the request
+ * @param request - request to place
  * @param endpoints - all known endpoints
- * @param own - this daemon's placements since the load reports
- * @param survival - length estimates
- * @param random - breaks ties and samples candidates
- * @returns the endpoint, or that the request waits, or a refusal as not-run
+ * @param placements - this daemon's placements
+ * @param survival - output length estimates
+ * @param random - source of randomness for breaking ties and sampling candidates
+ * @returns the chosen endpoint, the reason to wait, or a refusal with verdict `not-run`
  */
 export const choosePlacement = (
   policy: PlacementPolicy,
--- a/packages/decisions/placement/classBounds.ts
+++ b/packages/decisions/placement/classBounds.ts
@@ -20,12 +20,12 @@
 };
 
 /**
- * Computes the sequences that a class may have running at a limit; the rest is kept for critical
+ * Computes the concurrency limit for a class; the difference to `limit` is reserved for critical
  * classes.
  *
- * @param limit - sequences allowed for all classes together
+ * @param limit - maximum number of running sequences of all classes
  * @param targets - class of the request
- * @returns the class's limit, at least 1 when `limit` is
+ * @returns limit that applies to requests of the class; at least 1 if `limit` is
  */
 export const computeClassLimit = (limit: number, targets: ClassTargets): number => {
   if (limit < MIN_LIMIT_FOR_RESERVE || hasReserveAccess(targets.importance)) return limit;
@@ -33,22 +33,23 @@
 };
 
 /**
- * Computes the memory that a class may plan with; the rest is kept for critical classes.
+ * Computes the memory available to a class; the rest is reserved for critical classes.
  *
  * @param total - memory of the engine in tokens
  * @param targets - class of the request
- * @returns tokens that may be used
+ * @returns available memory in tokens
  */
 export const computeClassMemory = (total: number, targets: ClassTargets): number =>
   hasReserveAccess(targets.importance) ? total : total * (1 - CRITICAL_RESERVE_SHARE);
 
 /**
- * Computes the probability of a memory overflow that a class accepts. Critical answers accept more:
- * the preemptions that follow hit others, and they cannot wait for memory.
+ * Computes the highest accepted probability of a memory overflow for a class. Critical classes
+ * accept a higher one: they cannot wait for memory, and the resulting preemptions affect other
+ * classes.
  *
  * @param targets - class of the request
- * @param base - probability accepted for other classes
- * @returns probability in [0, 1]; the operator's own value when the class has one
+ * @param base - probability accepted for classes that are not critical
+ * @returns probability in [0, 1]; the operator's value if the class has one
  */
 export const computeAcceptedOverflow = (targets: ClassTargets, base: number): number => {
   if (targets.overflowProbability !== undefined) return targets.overflowProbability;
--- a/packages/decisions/placement/crowded.bench.ts
+++ b/packages/decisions/placement/crowded.bench.ts
@@ -13,15 +13,18 @@
 const MEASURED_MS = 600_000;
 const CALIBRATION_MS = 300_000;
 const SEEDS: readonly number[] = [1, 2];
-/** Offered load as a share of all engines' memory: the target's 90%, and a cluster without slack. */
+/** Offered load as a share of all engines' memory: the targeted 90%, and a fully loaded cluster. */
 const LOAD_SHARES: readonly number[] = [0.9, 1];
 const OPTIONS: ClusterOptions = { engines: 6, memoryTokens: 40_000, entries: 3, seed: 0 };
 
-/** Gaps up to the target of 53 ms are accepted, since a batch slows down as it grows. */
+/** Accepts token gaps up to the target of 53 ms, since a batch slows down as it grows. */
 const ADMISSION: AdmissionSettings = { ...DEFAULT_ADMISSION_SETTINGS, acceptedGapMs: 53 };
 const LIMIT_ONLY: AdmissionSettings = { ...ADMISSION, memoryBound: 'none' };
 
-/** Baselines run with the limit alone, and with everything but the choice of endpoint the same. */
+/**
+ * Baselines with the concurrency limit alone, a baseline that differs from the last variant only in
+ * the choice of endpoint, and the policy under test.
+ */
 const VARIANTS: readonly Variant[] = [
   {
     name: 'round-robin',
@@ -67,7 +70,9 @@
     WARM_UP_MS + measuredMs,
   );
 
-/** Finds the rate at which the mean demand for memory is the wanted share when memory has no end. */
+/**
+ * Finds the request rate at which mean memory demand, with unlimited memory, is the given share.
+ */
 const findRate = (share: number): number => {
   const wanted = share * OPTIONS.engines * OPTIONS.memoryTokens;
   const settings = { ...LIMIT_ONLY, startLimit: 100_000, maxLimit: 100_000, maxUnconfirmed: 1e6 };
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -23,21 +23,21 @@
 
 export const STEP_MS = 20;
 const HEARTBEAT_MS = 500;
-/** Age of a load report when it arrives: engines report with a lag. */
+/** Age of a load report when it arrives, since engines report with a lag. */
 const LOAD_LAG_MS = 300;
 const LOAD_READ_MS = 200;
 const QUEUE_SETTINGS = { maxWaiting: 4_000, maxWaitingPerClass: 4_000, retryAfterMs: 1_000 };
 
-/** What is compared. */
+/** A combination of policies to compare. */
 export interface Variant {
   readonly name: string;
   readonly policy: PlacementPolicy;
   readonly admission: AdmissionSettings;
-  /** Whether engines get priority numbers by class. */
+  /** Whether requests carry priority numbers by class to the engines. */
   readonly priorities: 'by-class' | 'none';
 }
 
-/** Shape of the modelled installation. */
+/** Size and seed of the simulated cluster. */
 export interface ClusterOptions {
   readonly engines: number;
   readonly memoryTokens: number;
@@ -45,7 +45,7 @@
   readonly seed: number;
 }
 
-/** An endpoint daemon with its engine. */
+/** A simulated endpoint daemon with its engine. */
 interface ClusterEndpoint {
   readonly engine: FluidEngine;
   readonly survival: SurvivalTable;
@@ -54,14 +54,14 @@
   view: EndpointView;
 }
 
-/** An entry daemon. */
+/** A simulated entry daemon. */
 interface ClusterEntry {
   readonly survival: SurvivalTable;
   readonly placements: OwnTable;
   queue: QueueState;
 }
 
-/** End of a request, or of its wait. */
+/** Outcome of a request; `refused` when the queue refused it, on arrival or after a wait. */
 export interface RequestOutcome {
   readonly item: WorkItem;
   readonly firstTokenMs?: Millis;
@@ -93,7 +93,7 @@
   };
 };
 
-/** State of one run; updated in place by the steps. */
+/** State of one run, updated in place. */
 interface Cluster {
   readonly variant: Variant;
   readonly endpoints: readonly ClusterEndpoint[];
@@ -202,7 +202,9 @@
   });
 };
 
-/** Tries endpoints until one admits the request; one that refused is excluded for this attempt. */
+/**
+ * Tries endpoints until one admits the request; excludes those that refuse it from this attempt.
+ */
 const dispatchItem = (
   cluster: Cluster,
   entry: ClusterEntry,
@@ -349,7 +351,7 @@
   });
 };
 
-/** Result of a run: ended requests, and the mean memory in use by all engines in tokens. */
+/** Result of a run: outcomes of the requests, and mean memory in use by all engines in tokens. */
 export interface ClusterResult {
   readonly outcomes: readonly RequestOutcome[];
   readonly meanMemoryTokens: number;
@@ -357,13 +359,13 @@
 }
 
 /**
- * Runs a workload through queue, placement, admission and engines.
+ * Simulates a workload through queues, placement, admission and engines.
  *
- * @param variant - policies compared
- * @param options - shape of the installation
+ * @param variant - policies to run
+ * @param options - size and seed of the cluster
  * @param items - requests in order of arrival
- * @param measureFrom - memory is averaged from this instant on
- * @param until - end of the run
+ * @param measureFrom - instant in milliseconds from which memory use is averaged
+ * @param until - end of the run in milliseconds
  * @returns outcomes of the requests that ended
  */
 export const runCluster = (
--- a/packages/decisions/placement/crowded/engine.ts
+++ b/packages/decisions/placement/crowded/engine.ts
@@ -1,20 +1,20 @@
 import type { Millis } from '../../../core/clock.js';
 import type { RequestId } from '../../../core/ids.js';
 
-/** Time between tokens with one sequence in the batch, and its growth per further sequence. */
+/** Base time between tokens, and its increase per sequence in the batch. */
 const BASE_GAP_MS = 20;
 const GAP_PER_SEQUENCE_MS = 0.4;
-/** Prompt tokens per millisecond; decoding slows down while prompts are read. */
+/** Prompt tokens per millisecond, and the factor on token gaps while prompts are prefilled. */
 const PREFILL_TOKENS_PER_MS = 10;
 const PREFILL_SLOW_DOWN = 1.3;
-/** Free share of memory that the engine asks for before it starts a sequence. */
+/** Share of memory that must stay free when the engine starts a sequence. */
 const START_MEMORY_SHARE = 0.01;
 
-/** A sequence in the fluid model; `generated` grows continuously. */
+/** A sequence in the fluid model; `generated` grows continuously instead of by whole tokens. */
 export interface EngineSequence {
   readonly requestId: RequestId;
   readonly className: string;
-  /** Larger numbers go first and are preempted last. */
+  /** Sequences with larger numbers start first and are preempted last. */
   readonly priority: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
@@ -26,7 +26,7 @@
   stallMs: Millis;
 }
 
-/** One engine of the fluid model: batch steps, limited memory, preemption by recomputation. */
+/** Fluid model of an engine with batched steps, limited memory and preemption by recomputation. */
 export interface FluidEngine {
   readonly name: string;
   readonly memoryTokens: number;
@@ -37,7 +37,7 @@
   gapMs: Millis;
 }
 
-/** What happened in one step. */
+/** Sequences that finished or produced their first token in one step. */
 export interface EngineStep {
   readonly finished: readonly EngineSequence[];
   readonly firstTokens: readonly EngineSequence[];
@@ -58,7 +58,7 @@
 const listRunning = (engine: FluidEngine): EngineSequence[] =>
   engine.sequences.filter((sequence) => sequence.phase !== 'waiting');
 
-/** Counts the tokens of memory in use. */
+/** Returns the memory in use, in tokens. */
 export const countMemory = (engine: FluidEngine): number =>
   listRunning(engine).reduce((sum, sequence) => sum + getSize(sequence), 0);
 
@@ -89,7 +89,7 @@
   return prefilling.length > 0;
 };
 
-/** Preempts the sequence of the lowest priority that came last, until memory suffices. */
+/** Preempts sequences by lowest priority, latest arrival first, until the rest fits in memory. */
 const resolveOverflow = (engine: FluidEngine): void => {
   const running = listRunning(engine).sort(comparePriority);
   let used = running.reduce((sum, sequence) => sum + getSize(sequence), 0);
@@ -104,11 +104,11 @@
 };
 
 /**
- * Moves an engine forward.
+ * Advances an engine by one step.
  *
  * @param engine - updated in place
  * @param durationMs - length of the step
- * @returns sequences that finished or showed their first token
+ * @returns sequences that finished or produced their first token
  */
 export const runEngine = (engine: FluidEngine, durationMs: Millis): EngineStep => {
   startWaitingSequences(engine);
--- a/packages/decisions/placement/crowded/workload.ts
+++ b/packages/decisions/placement/crowded/workload.ts
@@ -2,20 +2,20 @@
 import type { RandomSource } from '../../../core/random.js';
 import type { ClassTargets } from '../types.js';
 
-/** A class of the model's load; output lengths have a Lomax tail. */
+/** A request class of the workload; its output lengths have a Lomax tail. */
 interface WorkClass {
   readonly targets: ClassTargets;
-  /** Share of the requests. */
+  /** Share of all requests. */
   readonly share: number;
   readonly promptTokens: number;
   readonly minOutputTokens: number;
   readonly outputScaleTokens: number;
   readonly tailShape: number;
-  /** Longest wait for a start. */
+  /** Longest time that a request waits in a queue. */
   readonly patienceMs: Millis;
 }
 
-/** Classes of cash pooling: lookups, summaries and long memos. */
+/** Request classes of a cash pooling application: lookups, summaries and long memos. */
 export const WORK_CLASSES: readonly WorkClass[] = [
   {
     targets: { className: 'lookup', importance: 'critical', answerLength: 'short' },
@@ -46,11 +46,11 @@
   },
 ];
 
-/** Customers; the first two send half of the requests. */
+/** Number of customers; the first two send half of the requests. */
 const CUSTOMERS = 10;
 const MAX_OUTPUT_TOKENS = 12_000;
 
-/** One request with its true length, which no decision sees. */
+/** A request with its actual output length, which is hidden from all decisions. */
 export interface WorkItem {
   readonly requestId: string;
   readonly at: Millis;
@@ -74,7 +74,7 @@
     ? Math.floor(random.next() * 2)
     : 2 + Math.floor(random.next() * (CUSTOMERS - 2));
 
-/** Customers differ by a factor of 4 in their mean length. */
+/** Samples an output length; its scale differs between customers by up to a factor of 4. */
 const sampleOutput = (work: WorkClass, customer: number, random: RandomSource): number => {
   const scale = work.outputScaleTokens * 0.5 * 4 ** (customer / (CUSTOMERS - 1));
   const tail = scale * ((1 - random.next()) ** (-1 / work.tailShape) - 1);
@@ -82,12 +82,12 @@
 };
 
 /**
- * Builds the requests of a run: Poisson arrivals at a number of entry daemons.
+ * Builds the requests of a run, with Poisson arrivals spread over the entry daemons.
  *
- * @param requestsPerSecond - rate of all entry daemons together
+ * @param requestsPerSecond - total rate of all entry daemons
  * @param durationMs - length of the run
  * @param entries - number of entry daemons
- * @param random - source of arrivals and lengths
+ * @param random - source of randomness for arrivals and lengths
  * @returns requests in order of arrival
  */
 export const buildWorkload = (
--- a/packages/decisions/placement/eligible.ts
+++ b/packages/decisions/placement/eligible.ts
@@ -38,11 +38,12 @@
 };
 
 /**
- * Counts the requests at an endpoint now: the last report, corrected by this daemon's placements
- * and completions since. A refusal since then shows the requests of other entry daemons.
+ * Estimates the current number of requests at an endpoint: the last report, adjusted by this
+ * daemon's placements and completions since then. A refusal since then gives a lower bound that
+ * includes the requests of other entry daemons.
  *
- * @param endpoint - last report
- * @param own - this daemon's placements
+ * @param endpoint - endpoint with its last report
+ * @param placements - this daemon's placements
  * @returns number of requests, at least 0
  */
 export const countRequests = (endpoint: EndpointView, placements: PlacementTableView): number => {
@@ -54,11 +55,12 @@
 };
 
 /**
- * Tells whether an endpoint serves a request's target and takes work, whatever its load.
+ * Reports whether an endpoint serves a request's target and accepts new work, regardless of its
+ * load.
  *
- * @param request - what is to be placed
+ * @param request - request to place
  * @param endpoint - known endpoint
- * @returns true when the request may be placed there
+ * @returns true if the endpoint is a candidate for the request
  */
 export const isCandidate = (request: PlacementRequest, endpoint: EndpointView): boolean =>
   isServingTarget(endpoint, request.target) &&
@@ -67,12 +69,12 @@
   !(request.excluded.size > 0 && request.excluded.has(endpoint.endpoint));
 
 /**
- * Tells whether an endpoint's limit leaves a slot for a request.
+ * Reports whether an endpoint has a free slot for the class of a request.
  *
- * @param request - what is to be placed
- * @param endpoint - endpoint that serves its target
- * @param requests - requests there now
- * @returns true when the request may be placed as far as the limit goes
+ * @param request - request to place
+ * @param endpoint - endpoint that serves the request's target
+ * @param requests - current number of requests at the endpoint
+ * @returns true if the endpoint's limit permits another request of the class
  */
 export const hasSlot = (
   request: PlacementRequest,
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -29,35 +29,35 @@
 
 export type HeadroomPolicy = Extract<PlacementPolicy, { readonly kind: 'predicted-headroom' }>;
 
-/** An endpoint compared for a request, and whether its predicted memory admits the request. */
+/** An endpoint checked for a request, and whether the request fits its predicted memory. */
 export interface CandidateCheck {
   readonly view: EndpointView;
   readonly candidate: PlacementCandidate;
   readonly room: 'fits' | 'too-full';
-  /** Worth of the cached prefix, as a share of memory. */
+  /** Score bonus of the cached prefix, as a share of memory. */
   readonly prefixBonus: number;
 }
 
-/** Inputs that are the same for all endpoints compared in one decision. */
+/** Inputs shared by all endpoint checks of one decision. */
 export interface HeadroomInputs {
   readonly policy: HeadroomPolicy;
   readonly request: PlacementRequest;
   readonly placements: PlacementTableView;
   readonly survival: SurvivalView;
-  /** Predicted change by the request itself, per version of an endpoint. */
+  /** Predicted memory change by the request itself, by endpoint version. */
   readonly requestChanges: Map<VersionName, MemoryChange>;
-  /** Reused for every endpoint, since a decision must not allocate per candidate. */
+  /** Buffer reused for every endpoint, since a decision must not allocate per candidate. */
   readonly scratch: MemoryChange;
 }
 
 /**
- * Prepares the inputs of one decision.
+ * Builds the inputs of one decision.
  *
  * @param policy - horizon, bounds and weights
- * @param request - what is to be placed
- * @param own - this daemon's placements
- * @param survival - length estimates
- * @returns the inputs, used for this decision only
+ * @param request - request to place
+ * @param placements - this daemon's placements
+ * @param survival - output length estimates
+ * @returns inputs that are valid for this decision only
  */
 export const buildInputs = (
   policy: HeadroomPolicy,
@@ -81,7 +81,7 @@
   return (perSequence * horizonMs) / 1_000;
 };
 
-/** The request's own change depends on the endpoint's version alone, so it is computed once. */
+/** Returns the request's own memory change, cached per version since it depends on nothing else. */
 const getRequestChange = (inputs: HeadroomInputs, version: VersionName): MemoryChange => {
   const known = inputs.requestChanges.get(version);
   if (known !== undefined) return known;
@@ -110,7 +110,7 @@
     const tokens = Math.max(0, heldTokens - (load?.includedTokens ?? 0));
     applyUnknownSequences(scratch, survival, unknownCount, tokens / unknownCount);
   }
-  // Preempted sequences hold no memory, but get it back before new work starts.
+  // Preempted sequences hold no memory now, but reclaim it before new sequences start.
   const preemptedTokens = (endpoint.waiting * heldTokens) / Math.max(1, endpoint.running);
   const budget: MemoryBudget = {
     used: heldTokens + growthSinceReport + preemptedTokens + (load?.newTokens ?? 0),
@@ -138,7 +138,8 @@
   const freeSlots = 1 - (requests + 1) / endpoint.limit;
   switch (inputs.request.targets.answerLength) {
     case 'short':
-      // A short answer ends before memory matters; it waits for the requests ahead of it.
+      // A short answer ends before memory fills up; its latency depends on the requests ahead of
+      // it.
       return localityBonus + freeSlots;
     case 'long':
       return localityBonus + memory.headroom;
@@ -148,12 +149,12 @@
 };
 
 /**
- * Tests one endpoint for a request: predicted memory and score.
+ * Predicts an endpoint's memory with a request added, and scores the endpoint.
  *
  * @param inputs - request, policy and estimates
  * @param endpoint - endpoint with a free slot
- * @param requests - requests there now
- * @returns the candidate with its score
+ * @param requests - current number of requests at the endpoint
+ * @returns the scored candidate, and whether the request fits
  */
 export const checkEndpoint = (
   inputs: HeadroomInputs,
@@ -178,7 +179,8 @@
       overflowProbability: memory.overflowProbability,
       headroom: memory.headroom,
     },
-    // An idle engine takes any request, or one that is longer than expected would wait for ever.
+    // An idle engine accepts any request; otherwise one with a long predicted output would wait
+    // forever.
     room: requests === 0 || memory.overflowProbability <= accepted ? 'fits' : 'too-full',
     prefixBonus,
   };
--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -10,7 +10,7 @@
 
 interface TrackedPlacement extends Writable<LocalPlacement> {
   change: MemoryChange;
-  /** Tokens generated when `change` was computed. */
+  /** Number of generated tokens when `change` was computed. */
   generatedAtForecast: number;
 }
 
@@ -27,24 +27,27 @@
 }
 
 /**
- * Placements of this daemon that are in flight, with sums per endpoint. The table is updated in
- * place, since one daemon holds thousands of placements and their tokens arrive all the time; it
- * has one owner.
+ * In-flight placements of this daemon, with totals per endpoint. The table is mutable, since a
+ * daemon tracks thousands of placements and updates them with every token; it must have a single
+ * owner.
  */
 export interface OwnTable extends PlacementTableView {
   readonly trackPlacement: (placement: LocalPlacement) => void;
-  /** Records progress of a placement; unknown requests are ignored. */
+  /** Records the total number of tokens generated for a request; ignores unknown requests. */
   readonly updateProgress: (requestId: RequestId, generated: number) => void;
-  /** Ends a placement. */
+  /** Removes a placement that ended; ignores unknown requests. */
   readonly releasePlacement: (requestId: RequestId, now: Millis) => void;
   /**
-   * Notes that an endpoint refused a request for lack of room: until its next report or until a
-   * placement of this daemon ends there, it counts as having `count` requests.
+   * Records that an endpoint refused a request for lack of capacity. Until its next report, or
+   * until one of this daemon's placements there ends, the endpoint counts as having at least
+   * `count` requests.
    */
   readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
-  /** Notes that a load report taken at `takenAt` (this daemon's clock) replaced the last one. */
+  /**
+   * Records that a load report sampled at `takenAt`, on this daemon's clock, replaced the last one.
+   */
   readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
-  /** Forgets an endpoint that is gone, with its placements. */
+  /** Removes an endpoint and its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
   readonly listPlacements: (endpoint: EndpointId) => readonly LocalPlacement[];
 }
@@ -93,9 +96,9 @@
 };
 
 /**
- * Creates the table of this daemon's placements.
+ * Creates a table of this daemon's placements.
  *
- * @param survival - length estimates for the forecasts
+ * @param survival - output length estimates for the memory forecasts
  * @returns an empty table
  */
 export const createOwnTable = (survival: SurvivalView): OwnTable => {
@@ -128,7 +131,8 @@
     entry.load.requestsAtRefusal = 0;
     updateSums(entry.load, tracked.report, -1, -tokens);
     mergeMemoryChange(entry.load.change, tracked.change, -1);
-    // Sums of differences collect rounding errors; an idle endpoint starts again from zero.
+    // Repeated addition and subtraction accumulates rounding errors, so an idle endpoint is reset
+    // to zero.
     if (entry.placements.size === 0) entry.load.change = createMemoryChange();
     if (tracked.report === 'not-included') return;
     entry.ended = [...entry.ended, { endedAt: now, tokens }];
--- a/packages/decisions/placement/types.ts
+++ b/packages/decisions/placement/types.ts
@@ -12,37 +12,37 @@
 import type { Failure } from '../../core/verdict.js';
 import type { MemoryChange } from '../survival/forecast.js';
 
-/** Phase of an endpoint as membership sees it. */
+/** Lifecycle phase of an endpoint, as tracked by membership. */
 export type EndpointPhase = 'starting' | 'ramping' | 'serving' | 'draining' | 'suspect' | 'gone';
 
-/** How much a class matters when there is not enough room for all. */
+/** Priority of a class when capacity does not suffice for all requests. */
 export type Importance = 'critical' | 'standard' | 'background';
 
-/** Whether answers of a class are expected to end soon; short ones never wait behind long ones. */
+/** Expected answer length of a class; short answers never wait behind long ones. */
 export type AnswerLength = 'short' | 'long';
 
-/** What an operator publishes for a class of work, as far as placement needs it. */
+/** The part of a request class's published configuration that placement uses. */
 export interface ClassTargets {
   readonly className: ClassName;
   readonly importance: Importance;
   readonly answerLength: AnswerLength;
-  /** Largest accepted probability of a memory overflow; the policy's value when absent. */
+  /** Highest accepted probability of a memory overflow; defaults to the policy's value. */
   readonly overflowProbability?: number;
-  /** Cost of a stall relative to other classes; by importance and length when absent. */
+  /** Cost of a stall relative to other classes; defaults to a weight by importance and length. */
   readonly stallWeight?: number;
 }
 
-/** What a request runs on. */
+/** Model or service that a request needs. */
 export type PlacementTarget =
   | {
       readonly kind: 'model';
       readonly model: ModelName;
-      /** Version chosen by a move; any version when absent. */
+      /** Version that a move assigns to the request; any version when absent. */
       readonly version?: VersionName;
     }
   | { readonly kind: 'service'; readonly service: string };
 
-/** One endpoint as its last heartbeat described it. */
+/** State of an endpoint at its last heartbeat. */
 export interface EndpointView {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
@@ -53,7 +53,7 @@
   /** Set for plain services. */
   readonly service?: string;
   readonly phase: EndpointPhase;
-  /** Sequences that may run now. */
+  /** Concurrency limit: the number of sequences that may run now. */
   readonly limit: number;
   readonly running: number;
   readonly waiting: number;
@@ -61,18 +61,18 @@
   /** 0 for plain services. */
   readonly memoryTotalTokens: number;
   readonly tokensPerSecond: number;
-  /** Age of the load figures. */
+  /** Age of the load report. */
   readonly loadAgeMs: Millis;
-  /** Hashes of the prompt prefixes that the engine has cached. */
+  /** Hashes of the prompt prefixes in the engine's cache. */
   readonly prefixes: ReadonlySet<string>;
   /** Age of the newest cache event. */
   readonly prefixAgeMs: Millis;
-  /** Cache events known to be lost. */
+  /** Number of cache events known to be lost. */
   readonly prefixGaps: number;
   readonly preemptions: number;
 }
 
-/** Whether the last load report of the endpoint already counts a placement. */
+/** Whether the endpoint's last load report includes a placement. */
 export type ReportState = 'included' | 'not-included';
 
 /** A request that this daemon placed and that is still in flight. */
@@ -88,31 +88,31 @@
   readonly placedAt: Millis;
 }
 
-/** Sums over this daemon's placements at one endpoint. */
+/** Totals of this daemon's placements at one endpoint. */
 export interface LocalLoad {
-  /** Placements that the last load report counts. */
+  /** Placements that the last load report includes. */
   readonly includedCount: number;
   readonly includedTokens: number;
   /** Placements since the last load report. */
   readonly newCount: number;
   readonly newTokens: number;
-  /** Placements that ended since the last load report, which still counts them. */
+  /** Placements that ended since the last load report, which still includes them. */
   readonly endedCount: number;
   readonly endedTokens: number;
-  /** Requests that the endpoint had at least when it last refused one for lack of room. */
+  /** Lower bound on the endpoint's requests, known from its last refusal for lack of capacity. */
   readonly requestsAtRefusal: number;
-  /** Predicted change of memory by the placements in flight. */
+  /** Predicted change of memory use by the placements in flight. */
   readonly change: MemoryChange;
 }
 
-/** Read-only view of this daemon's placements. */
+/** Read-only view of this daemon's table of placements. */
 export interface PlacementTableView {
-  /** Placements made so far; the turn of round-robin. */
+  /** Returns the number of placements made so far, which round-robin uses as its position. */
   readonly getPlacementCount: () => number;
   readonly getLoad: (endpoint: EndpointId) => LocalLoad | undefined;
 }
 
-/** What is to be placed. */
+/** A request to be placed on an endpoint. */
 export interface PlacementRequest {
   readonly requestId: RequestId;
   readonly target: PlacementTarget;
@@ -120,26 +120,26 @@
   readonly targets: ClassTargets;
   readonly promptTokens: number;
   readonly prefix?: string;
-  /** Data centre of this entry daemon. */
+  /** Data centre of the entry daemon that places the request. */
   readonly dataCentre: DataCentreId;
-  /** Endpoints that failed or refused this request before. */
+  /** Endpoints that already failed or refused this request. */
   readonly excluded: ReadonlySet<EndpointId>;
-  /** The only endpoint that may take the request. */
+  /** The only endpoint that may serve the request. */
   readonly pinned?: EndpointId;
 }
 
-/** How an endpoint is chosen among those that may take a request. */
+/** How an endpoint is chosen among those that may serve a request. */
 export type PlacementPolicy =
   | { readonly kind: 'round-robin' }
   | { readonly kind: 'least-requests' }
   | {
       readonly kind: 'predicted-headroom';
-      /** Endpoints compared for one request. */
+      /** Number of suitable endpoints to compare for one request. */
       readonly choices: number;
       readonly horizonMs: Millis;
-      /** Largest accepted probability that memory overflows within the horizon. */
+      /** Highest accepted probability that memory overflows within the horizon. */
       readonly overflowProbability: number;
-      /** Share of memory that a prompt found whole in the cache is worth. */
+      /** Score bonus of a freshly cached prompt prefix, as a share of memory. */
       readonly prefixWeight: number;
     };
 
@@ -153,7 +153,7 @@
   | 'prefix-cached'
   | 'same-data-centre';
 
-/** One endpoint that was compared; `score` orders candidates of the same decision only. */
+/** An endpoint compared in a decision; scores are comparable only within one decision. */
 export interface PlacementCandidate {
   readonly endpoint: EndpointId;
   readonly score: number;
@@ -162,7 +162,7 @@
   readonly headroom: number;
 }
 
-/** Why a request waits. */
+/** Why a request cannot be placed yet. */
 export type WaitReason = 'at-limit' | 'memory-full' | 'pinned-endpoint-busy';
 
 export type PlacementDecision =
