Reword the comments and test titles of preemption

"Giving up", "dear" and "one of which nothing was shown" stood for preemption, its cost and a sequence without delivered output. The comment on the stall weights says why short critical answers weigh almost as much as long ones.

--- a/packages/decisions/preemption/constants.ts
+++ b/packages/decisions/preemption/constants.ts
@@ -1,7 +1,8 @@
 /**
- * Cost of a stall by importance and length. A reader of a long answer sees the pause and the engine
- * computes the whole answer again, so it weighs several times a short one. Short critical answers hold so little memory that a
- * preemption of theirs frees nothing, and engines also start work in this order.
+ * Cost of a stall by importance and answer length. Stalling a long answer costs several times as
+ * much as stalling a short one, since its reader notices the pause and the engine recomputes the
+ * whole answer. Short critical answers weigh almost as much as long ones: they hold so little
+ * memory that preempting them frees almost nothing, and engines also start requests in this order.
  */
 export const STALL_WEIGHTS = {
   critical: { long: 16, short: 14 },
@@ -9,8 +10,8 @@
   background: { long: 2, short: 1 },
 } as const;
 
-/** Largest stall weight; priority numbers of a `lower-first` engine count down from it. */
+/** Highest stall weight; the priority numbers of a `lower-first` engine count down from it. */
 export const MAX_STALL_WEIGHT = 16;
 
-/** Tokens of work that a stall costs besides the recomputation: queueing and a new prefill. */
+/** Cost of a stall besides the recomputation, in tokens: queueing and another prefill. */
 export const FIXED_STALL_TOKENS = 200;
--- a/packages/decisions/preemption/preemption.test.ts
+++ b/packages/decisions/preemption/preemption.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { computePriority, decidePreemption, getStallWeight } from './preemption.js';
-import type { Preemptibility, MemoryHolder, PreemptionInputs } from './types.js';
+import type { MemoryHolder, Preemptibility, PreemptionInputs } from './types.js';
 import type { AnswerLength, Importance } from '../placement/types.js';
 import { createSurvivalTable } from '../survival/survivalTable.js';
 
@@ -27,9 +27,9 @@
 
 const summary = { className: 'summary', importance: 'background', answerLength: 'short' } as const;
 
-// Guards against preemptions of long memos while cheaper work runs, and against a forecast that
-// counts on sequences that may end, when memory is full before they probably do.
-test('a background summary is given up before a memo, and no more than needed', (t) => {
+// Guards against preempting long memos while cheaper sequences run, and against a forecast that
+// relies on sequences ending when memory will probably be full before they do.
+test('a background summary is preempted before a memo, and no more sequences than needed', (t) => {
   const holders = ['m1', 'm2', 's1', 's2'].map((id) =>
     buildHolder(id, id.startsWith('s') ? { targets: summary } : {}),
   );
@@ -39,8 +39,8 @@
   t.regex(decision.kind === 'preempt' ? (decision.requestIds[0] ?? '') : '', /^s/);
 });
 
-// Guards against a stream that the caller has begun to read and that is cut off.
-test('a sequence that cannot start again is never given up', (t) => {
+// Guards against interrupting a stream that the caller has begun to read.
+test('a sequence that cannot restart is never preempted', (t) => {
   fc.assert(
     fc.property(
       fc.array(
@@ -69,7 +69,7 @@
   });
 });
 
-// Guards against engine priorities that contradict what stalls cost.
+// Guards against engine priorities that contradict the costs of stalls.
 test('priority numbers follow the stall weights in both orders', (t) => {
   const importances: readonly Importance[] = ['critical', 'standard', 'background'];
   const lengths: readonly AnswerLength[] = ['long', 'short'];
@@ -78,15 +78,12 @@
   );
   for (const left of classes) {
     for (const right of classes) {
-      const isCostlier = getStallWeight(left) > getStallWeight(right);
+      const isHigher = getStallWeight(left) > getStallWeight(right);
       t.is(
         computePriority(left, 'higher-first') > computePriority(right, 'higher-first'),
-        isCostlier,
-      );
-      t.is(
-        computePriority(left, 'lower-first') < computePriority(right, 'lower-first'),
-        isCostlier,
+        isHigher,
       );
+      t.is(computePriority(left, 'lower-first') < computePriority(right, 'lower-first'), isHigher);
     }
   }
 });
--- a/packages/decisions/preemption/preemption.ts
+++ b/packages/decisions/preemption/preemption.ts
@@ -7,21 +7,21 @@
 import type { SurvivalKey } from '../survival/types.js';
 
 /**
- * Returns what a stall of a class costs.
+ * Returns the relative cost of a stall for a class.
  *
- * @param targets - class
- * @returns weight; an operator's own value goes before the one by importance and length
+ * @param targets - class of the request
+ * @returns the operator's weight if set, otherwise the default by importance and answer length
  */
 export const getStallWeight = (targets: ClassTargets): number =>
   targets.stallWeight ?? STALL_WEIGHTS[targets.importance][targets.answerLength];
 
 /**
- * Computes the priority number that an engine gets with a request, so that its own preemptions hit
- * the class whose stalls cost least.
+ * Computes the priority number sent to the engine with a request, so that the engine's own
+ * preemptions affect the classes whose stalls cost least.
  *
  * @param targets - class of the request
- * @param order - how the engine orders the numbers
- * @returns whole number, at least 0 up to the largest stall weight
+ * @param order - which priority numbers the engine serves first
+ * @returns integer from 0 to the highest stall weight
  */
 export const computePriority = (targets: ClassTargets, order: PriorityOrder): number => {
   const weight = Math.round(Math.min(MAX_STALL_WEIGHT, Math.max(0, getStallWeight(targets))));
@@ -63,12 +63,13 @@
 };
 
 /**
- * Computes what giving a sequence up costs per token of memory and time that it frees. A sequence
- * near its end frees its memory by itself, so it is dear; a short one with much left is cheap.
+ * Computes the cost of preempting a sequence, relative to the memory that this frees over the
+ * sequence's remaining run. Preempting a sequence near its end is expensive, since it would soon
+ * free its memory anyway; preempting a short one with much left to generate is cheap.
  *
- * @param holder - sequence
+ * @param holder - sequence to preempt
  * @param inputs - length estimates
- * @returns cost, larger for sequences to keep
+ * @returns cost; higher for sequences that should keep running
  */
 export const computePreemptionCost = (holder: MemoryHolder, inputs: PreemptionInputs): number => {
   const remaining = inputs.survival.estimateRemaining(toKey(holder), holder.generated);
@@ -78,11 +79,12 @@
 };
 
 /**
- * Decides which running sequences to give up when the engine's memory will probably overflow.
+ * Decides which running sequences to preempt when the engine's memory will probably overflow.
  *
- * @param inputs - memory, horizon and length estimates
- * @param holders - sequences that run at the engine
- * @returns nothing, or the cheapest sequences whose memory averts the overflow
+ * @param inputs - memory, horizon, accepted overflow probability and length estimates
+ * @param holders - sequences running on the engine
+ * @returns `keep`, or the restartable sequences to preempt in order of cost, until the overflow is
+ *   averted or none is left
  */
 export const decidePreemption = (
   inputs: PreemptionInputs,
--- a/packages/decisions/preemption/types.ts
+++ b/packages/decisions/preemption/types.ts
@@ -3,16 +3,16 @@
 import type { ClassTargets } from '../placement/types.js';
 import type { SurvivalView } from '../survival/types.js';
 
-/** How an engine orders priority numbers. */
+/** Which priority numbers an engine serves first. */
 export type PriorityOrder = 'lower-first' | 'higher-first';
 
 /**
- * Whether the daemon may give a sequence up: one of which nothing was shown can run again
- * elsewhere; another one can only be paused by the engine itself.
+ * Whether the daemon may preempt a sequence. A sequence with no output delivered yet can restart on
+ * another endpoint; any other can be paused only by the engine itself.
  */
 export type Preemptibility = 'restartable' | 'engine-only';
 
-/** A sequence that holds memory of the engine. */
+/** A sequence that holds engine memory. */
 export interface MemoryHolder {
   readonly requestId: RequestId;
   readonly targets: ClassTargets;
@@ -23,13 +23,13 @@
   readonly preemptibility: Preemptibility;
 }
 
-/** Memory of the engine now. */
+/** State of the engine's memory, and parameters of the decision. */
 export interface PreemptionInputs {
   readonly usedTokens: number;
   readonly totalTokens: number;
   readonly tokensPerSecond: number;
   readonly horizonMs: Millis;
-  /** Probability of an overflow from which on a sequence is given up. */
+  /** Overflow probability above which sequences are preempted. */
   readonly overflowProbability: number;
   readonly survival: SurvivalView;
 }
@@ -38,8 +38,8 @@
   | { readonly kind: 'keep' }
   | {
       readonly kind: 'preempt';
-      /** Cheapest first. */
+      /** Sequences to preempt, lowest cost first. */
       readonly requestIds: readonly RequestId[];
-      /** Whether memory is expected to suffice afterwards. */
+      /** Whether this reduces the overflow probability to the accepted one. */
       readonly outcome: 'enough' | 'not-enough';
     };
