Reword the comments and test titles of admission

Comments said that an engine takes, shows or bears something. They name the admission limit, the engine's identity, its capacity and the moving average of token gaps now, and the tests say which overload or wrong reset they guard against. Assertions are unchanged.

--- a/packages/decisions/admission/admission.test.ts
+++ b/packages/decisions/admission/admission.test.ts
@@ -48,7 +48,7 @@
 const fold = (state: AdmissionState, ...events: readonly AdmissionEvent[]): AdmissionState =>
   events.reduce((current, event) => decideLimit(current, event, CONTEXT).state, state);
 
-/** A daemon with `running` confirmed sequences on a warm engine. */
+/** Builds the state of a daemon with `running` confirmed sequences on a warm engine. */
 const buildServing = (limit: number, running: number, memory = MEMORY): AdmissionState => {
   const phase: AdmissionPhase = { kind: 'serving', identity: 'e1', limit };
   const sequences = Array.from({ length: running }, (_, index) => ({
@@ -81,8 +81,8 @@
   now,
 });
 
-// Guards against work for an engine of which nothing is known.
-test('nothing is admitted before the engine was seen, then the start limit', (t) => {
+// Guards against sending requests to an engine of which nothing is known.
+test('nothing is admitted before the engine has been seen, then the start limit applies', (t) => {
   const unseen = createAdmissionState(0);
   t.is(describeRefusal(unseen, buildRequest('a')), 'not-run overloaded');
   const seen = fold(unseen, buildLoad('e1', 10));
@@ -90,8 +90,8 @@
   t.is(describeRefusal(seen, buildRequest('a')), 'admit');
 });
 
-// Guards against a full load that meets a restarted engine.
-test('another start identity drops the limit and the sequences of the old engine', (t) => {
+// Guards against sending full load to a restarted engine.
+test('a new engine identity resets the limit and drops the sequences of the old engine', (t) => {
   const step = decideLimit(buildServing(40, 30), buildLoad('e2', 5_000), CONTEXT);
   t.is(getLimit(step.state), DEFAULT_ADMISSION_SETTINGS.startLimit);
   t.is(step.state.running.size, 0);
@@ -99,9 +99,9 @@
   t.is(lost?.requestIds.length, 30);
 });
 
-// Guards against full load on an engine whose cache went cold without a restart, and against a
-// single stalled sequence that looks the same.
-test('gaps far above the warm baseline drop the limit to the start value, a single one does not', (t) => {
+// Guards against full load on an engine whose cache became cold without a restart, and against
+// mistaking a single stalled sequence for a cold cache.
+test('gaps far above the warm baseline reset the limit to the start limit, a single one does not', (t) => {
   const cold = Array.from({ length: 15 }, (_, index) => buildTokens(400, 5_000 + index));
   t.is(getLimit(fold(buildServing(40, 30), ...cold)), 2);
   t.is(getLimit(fold(buildServing(40, 30), buildTokens(10_000, 5_000))), 40);
@@ -124,24 +124,25 @@
     },
     seen,
   );
-  // One call at a time says nothing about more than three at once.
+  // Calls made one at a time are no evidence for a limit above three.
   t.is(getLimit(served), 3);
 });
 
-// Guards against a limit that stays where the engine collapses, or falls once per token.
+// Guards against a limit that stays at a level where the engine collapses, or decreases with every
+// token.
 test('gaps above the collapse factor lower the limit once per settling time', (t) => {
   const slow = Array.from({ length: 40 }, (_, index) => buildTokens(120, 5_000 + index));
   t.is(getLimit(fold(buildServing(40, 30), ...slow)), 28);
   t.is(getLimit(fold(buildServing(40, 30), ...slow, buildTokens(120, 6_500))), 19);
 });
 
-// Guards against preemptions that go on because the limit ignores them.
+// Guards against repeated preemptions because the limit ignores them.
 test('a preemption lowers the limit', (t) => {
   t.is(getLimit(fold(buildServing(40, 30), buildLoad('e1', 5_000, { preemptions: 1 }))), 28);
 });
 
-// Guards against a single broken sequence that costs an engine its whole limit.
-test('after a broken sequence nothing runs until the identity is read, then half the limit', (t) => {
+// Guards against resetting the limit to the start limit after a single failed sequence.
+test('after a failed sequence nothing is admitted until the identity is read, then half the limit', (t) => {
   const event: AdmissionEvent = {
     kind: 'sequence-ended',
     requestId: 'running-0',
@@ -154,7 +155,7 @@
   t.is(getLimit(fold(step.state, buildLoad('e1', 5_010))), 20);
 });
 
-// Guards against preemptions by sequences that fit at admission and outgrow memory later.
+// Guards against preemptions caused by sequences that fit at admission and outgrow memory later.
 test('a request is refused when the running sequences will probably fill memory', (t) => {
   const full = { ...MEMORY, usedTokens: 94_000 };
   t.is(describeRefusal(buildServing(40, 30, full), buildRequest('a')), 'not-run overloaded');
@@ -165,8 +166,8 @@
   );
 });
 
-// Guards against critical lookups that find every slot taken by long answers.
-test('the last slots are kept for critical classes', (t) => {
+// Guards against long answers that occupy every slot, so that critical lookups are refused.
+test('the last slots are reserved for critical classes', (t) => {
   t.is(describeRefusal(buildServing(20, 19), buildRequest('a')), 'not-run overloaded');
   t.is(describeRefusal(buildServing(20, 19), buildRequest('a', 'critical')), 'admit');
   t.is(describeRefusal(buildServing(20, 20), buildRequest('a', 'critical')), 'not-run overloaded');
--- a/packages/decisions/admission/coldEndpoint.promise.test.ts
+++ b/packages/decisions/admission/coldEndpoint.promise.test.ts
@@ -2,9 +2,9 @@
 import fc from 'fast-check';
 import { buildColdEngineProperty, runScenario } from './coldEngineSimulation.fixture.js';
 
-// Guards against a fresh or silently restarted engine that collapses under full load, whatever the
-// number of entry daemons that send to it at once.
-test('a cold engine is never given more than it can bear', (t) => {
+// Guards against overloading a new or silently restarted engine, regardless of how many entry
+// daemons send to it concurrently.
+test('a cold engine never runs more sequences than its capacity', (t) => {
   let highestLimit = 0;
   fc.assert(
     buildColdEngineProperty((outcome) => {
@@ -12,12 +12,12 @@
     }),
     { seed: 4_406, numRuns: 40 },
   );
-  // The limit must grow, or the promise would be kept by an endpoint that does no work.
+  // The limit must grow; otherwise an endpoint that admits nothing would also pass.
   t.true(highestLimit >= 6, highestLimit.toString());
 });
 
-// Guards against a test that cannot fail: with a fixed limit the same engine does collapse.
-test('the engine model collapses when the limit is left fixed', (t) => {
+// Guards against a property that cannot fail: with a fixed limit, the same engine is overloaded.
+test('the simulated engine collapses with a fixed limit', (t) => {
   const restarts = [{ at: 30_000, sign: 'broken-connections' as const }];
   t.true(runScenario({ seed: 1, entryDaemons: 3, limiting: 'fixed', restarts }).collapses > 0);
   const decided = runScenario({ seed: 1, entryDaemons: 3, limiting: 'decided', restarts });
--- a/packages/decisions/admission/coldEngineSimulation.fixture.ts
+++ b/packages/decisions/admission/coldEngineSimulation.fixture.ts
@@ -17,7 +17,7 @@
 const MAX_CAPACITY = 24;
 const CONTEXT = { settings: DEFAULT_ADMISSION_SETTINGS, survival: createSurvivalTable() };
 
-/** How a restart shows: connections break at once, or they hang. */
+/** How a restart becomes visible: connections break at once, or they hang. */
 type RestartSign = 'broken-connections' | 'hanging-connections';
 
 interface Engine {
@@ -26,7 +26,7 @@
   readonly running: Map<string, { remaining: number; progress: number }>;
 }
 
-/** One run of the simulation. */
+/** Parameters of a simulation run. */
 export interface Scenario {
   readonly seed: number;
   readonly entryDaemons: number;
@@ -34,7 +34,7 @@
   readonly restarts: readonly { readonly at: number; readonly sign: RestartSign }[];
 }
 
-/** What a run showed. */
+/** Counts observed in a run. */
 export interface Outcome {
   readonly collapses: number;
   readonly overruns: number;
@@ -57,10 +57,11 @@
 });
 
 /**
- * Drives the decisions of one endpoint daemon against an engine that warms up as it works.
+ * Runs the decisions of one endpoint daemon against an engine whose capacity grows with the tokens
+ * it has generated.
  *
  * @param scenario - seed, load and restarts
- * @returns what the run showed
+ * @returns counts observed in the run
  */
 export const runScenario = (scenario: Scenario): Outcome => {
   const random: RandomSource = createRandomSource(scenario.seed);
@@ -155,7 +156,7 @@
 });
 
 /**
- * Builds the property that a cold engine is never given more than it can bear.
+ * Builds the property that a cold engine never runs more sequences than its capacity.
  *
  * @param observe - receives the outcome of each run
  * @returns a fast-check property
--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -1,9 +1,9 @@
 import type { AdmissionSettings } from './types.js';
 
 /**
- * Settings of an endpoint daemon whose file names none. Growth by 1.5 per 128 tokens and sequence, and
- * completions that counted 0.1 units or more, overran an engine that warms up by one sequence per 400 tokens
- * (coldEndpoint.promise.test.ts).
+ * Settings of an endpoint daemon whose settings file names none. Growth by 1.5 per 128 tokens and
+ * sequence, and completions that counted 0.1 units of evidence or more, overloaded an engine whose
+ * capacity grows by one sequence per 400 tokens (coldEndpoint.promise.test.ts).
  */
 export const DEFAULT_ADMISSION_SETTINGS: AdmissionSettings = {
   startLimit: 2,
@@ -24,8 +24,9 @@
 };
 
 /**
- * Settings for a plain service: calls hold no memory, a completion is the evidence, and the latency
- * of a call stands for the token gap. Latencies vary more between calls than token gaps do.
+ * Settings for a plain service: calls hold no memory, completions are the evidence for growth, and
+ * call latency replaces the token gap. The gap factors are higher because latencies vary more
+ * between calls than token gaps do.
  */
 export const SERVICE_ADMISSION_SETTINGS: AdmissionSettings = {
   ...DEFAULT_ADMISSION_SETTINGS,
@@ -36,24 +37,24 @@
   memoryBound: 'none',
 };
 
-/** Weight of one report in the mean of recent token gaps. */
+/** Weight of the newest report in the exponential moving average of token gaps. */
 export const GAP_WEIGHT = 0.1;
 
-/** Largest gap that the mean of recent gaps takes in, as a multiple of the cold gap. */
+/** Cap on a single gap in the moving average, as a multiple of the gap of a cold engine. */
 export const MAX_GAP_FACTOR = 1.25;
 
-/** Gap reports before the mean says anything about the engine. */
+/** Minimum number of gap reports before the moving average sets a baseline. */
 export const MIN_GAP_SAMPLES = 5;
 
-/** Share of the limit that must run for tokens and completions to be evidence about it. */
+/** Share of the limit that must be running for tokens and completions to count as evidence. */
 export const EVIDENCE_LOAD_SHARE = 0.5;
 
-/** Share of memory that must be free for the limit to grow. */
+/** Minimum free share of memory for the limit to grow. */
 export const GROWTH_FREE_MEMORY_SHARE = 0.1;
 
-/** Shortest and longest advice to a refused caller. */
+/** Bounds on the `retryAfterMs` of a refusal. */
 export const MIN_RETRY_AFTER_MS = 25;
 export const MAX_RETRY_AFTER_MS = 5_000;
 
-/** Time between tokens assumed before the first measurement. */
+/** Assumed time between tokens before the first measurement. */
 export const DEFAULT_GAP_MS = 30;
--- a/packages/decisions/admission/decideAdmit.ts
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -33,9 +33,9 @@
 const getSize = (sequence: RunningSequence): number => sequence.promptTokens + sequence.generated;
 
 /**
- * Counts the memory that the admitted sequences need. The load page counts neither prompts that
- * arrived since nor sequences that the engine preempted, which must get their memory back before
- * new work.
+ * Returns the memory that the admitted sequences need, in tokens. The load page includes neither
+ * prompts that arrived since nor sequences that the engine preempted, which reclaim their memory
+ * before new sequences start.
  */
 const countNeededTokens = (state: AdmissionState): number => {
   let admitted = 0;
@@ -48,11 +48,11 @@
 };
 
 /**
- * Estimates the probability that the engine's memory overflows when a request is admitted.
+ * Estimates the probability that the engine's memory overflows if a request is admitted.
  *
  * @param state - running sequences and memory
  * @param request - request under decision
- * @param context - horizon and length estimates
+ * @param context - settings with the horizon, and length estimates
  * @returns probability in [0, 1]; 0 for plain services
  */
 export const estimateOverflow = (
@@ -80,7 +80,10 @@
   return estimateMemory(budget, change).overflowProbability;
 };
 
-/** An idle engine takes any request that fits now, or a long one would wait for ever. */
+/**
+ * Reports whether the engine has enough memory for a request. An idle engine accepts any request
+ * that fits now; otherwise one with a long predicted output would wait forever.
+ */
 const hasMemory = (
   state: AdmissionState,
   request: AdmissionRequest,
@@ -116,13 +119,13 @@
 });
 
 /**
- * Decides whether the endpoint daemon admits a request. An admitted request must be reported to
- * `decideLimit` as `admitted` before the next decision.
+ * Decides whether the endpoint daemon admits a request. The caller must report an admitted request
+ * to `decideLimit` with an `admitted` event before the next decision.
  *
- * @param state - state of the limit
+ * @param state - admission state
  * @param request - request under decision
  * @param context - settings and length estimates
- * @returns admission, or a refusal as not-run
+ * @returns admission, or a refusal with verdict `not-run`
  */
 export const decideAdmit = (
   state: AdmissionState,
--- a/packages/decisions/admission/decideLimit.ts
+++ b/packages/decisions/admission/decideLimit.ts
@@ -32,7 +32,7 @@
 
 const NO_GAPS: TokenGaps = { samples: 0 };
 
-/** Creates the state of a daemon that has not yet seen its engine. */
+/** Creates the state of a daemon that has not yet read its engine's identity. */
 export const createAdmissionState = (now: Millis): AdmissionState => ({
   phase: { kind: 'starting' },
   running: new Map(),
@@ -43,10 +43,10 @@
 });
 
 /**
- * Returns the sequences that may run now.
+ * Returns the number of sequences that may run now.
  *
- * @param state - state of the limit
- * @returns the limit, 0 while the engine's identity is not confirmed
+ * @param state - admission state
+ * @returns the limit; 0 while the engine's identity is not confirmed
  */
 export const getLimit = (state: AdmissionState): number => {
   switch (state.phase.kind) {
@@ -61,9 +61,9 @@
 };
 
 /**
- * Counts the sequences that the engine took since it last showed its identity.
+ * Counts the sequences admitted since the engine's identity was last confirmed.
  *
- * @param state - state of the limit
+ * @param state - admission state
  * @returns number of unconfirmed sequences
  */
 export const countUnconfirmed = (state: AdmissionState): number => {
@@ -98,7 +98,7 @@
     now,
   );
 
-/** A broken sequence may mean a restart, so nothing is admitted until the identity is read again. */
+/** Stops admission until the identity is read again, since a failure may mean a restart. */
 const handleSuspectedEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
   const { phase } = state;
   if (phase.kind === 'starting') return toStep(state, { kind: 'read-load' });
@@ -107,8 +107,11 @@
   return toStep(step.state, ...step.effects, { kind: 'read-load' });
 };
 
-/** Sequences confirmed under the old identity ended with it; later ones may run on the new engine. */
-const handleEngineChange = (
+/**
+ * Sequences confirmed under the old identity are lost with the old engine; unconfirmed ones may run
+ * on the new one.
+ */
+const handleNewEngine = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -148,18 +151,17 @@
   if (phase.kind !== 'starting') {
     return phase.identity === identity
       ? toStep(state)
-      : handleEngineChange(state, identity, settings, now);
+      : handleNewEngine(state, identity, settings, now);
   }
   if (phase.previous === undefined) {
     return startRamp(state, identity, settings, 'engine-seen', now);
   }
-  if (phase.previous.identity !== identity)
-    return handleEngineChange(state, identity, settings, now);
+  if (phase.previous.identity !== identity) return handleNewEngine(state, identity, settings, now);
   const limit = Math.max(settings.startLimit, Math.floor(phase.previous.limit / 2));
   return applyPhase(state, { kind: 'ramping', identity, limit }, 'engine-seen', now);
 };
 
-/** A page that was asked for before the admission says nothing about the sequence's engine. */
+/** A load page requested before a sequence's admission does not confirm the sequence's engine. */
 const updateSequence = (
   sequence: RunningSequence,
   event: EventOf<'load-read'>,
@@ -211,7 +213,10 @@
     : toStep(next);
 };
 
-/** A prefill or a preemption makes single gaps of seconds, which must not look like a cold engine. */
+/**
+ * Caps a gap: a prefill or a preemption causes single gaps of seconds, which must not be mistaken
+ * for a cold engine.
+ */
 const computeCappedGap = (
   gapMs: Millis,
   baselineMs: Millis | undefined,
@@ -287,7 +292,7 @@
   running.delete(event.requestId);
   switch (event.reason) {
     case 'finished': {
-      // The ended sequence was part of the load that the evidence is about.
+      // Evidence is added before the sequence is removed, since the sequence was part of the load.
       const step = addEvidence(state, settings.completionEvidence, settings, event.now);
       return toStep({ ...step.state, running }, ...step.effects);
     }
@@ -301,11 +306,12 @@
 };
 
 /**
- * Decides the admission limit: it starts low, grows with evidence, falls by a factor at collapse
- * signs, and falls to the start value when the engine may be cold.
+ * Decides the admission limit. It starts low, grows with evidence, is multiplied by the decrease
+ * factor when the engine shows signs of collapse or preempts, and is reset to the start limit when
+ * the engine may be cold.
  *
- * @param state - state of the limit
- * @param event - what was seen of the engine
+ * @param state - admission state
+ * @param event - observation of the engine or of its sequences
  * @param context - settings and length estimates
  * @returns next state and effects
  */
--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -4,7 +4,7 @@
 import type { ClassTargets } from '../placement/types.js';
 import type { SurvivalView } from '../survival/types.js';
 
-/** Start identity that an engine shows on its load page; another one means a cold engine. */
+/** Identity of one start of an engine, shown on its load page; a new one means a cold engine. */
 export type EngineIdentity = string;
 
 /** Why a limit changed. */
@@ -17,28 +17,28 @@
   | 'collapse'
   | 'preemption';
 
-/** Phase of the limit. */
+/** Phase of the admission limit. */
 export type AdmissionPhase =
   | {
       /** The engine's identity is not confirmed, so nothing is admitted. */
       readonly kind: 'starting';
-      /** Engine seen before the doubt, with its limit; absent after the daemon's own start. */
+      /** Identity and limit before the engine was suspected; absent after the daemon's start. */
       readonly previous?: { readonly identity: EngineIdentity; readonly limit: number };
     }
   | {
-      /** The limit grows by a factor as evidence comes in. */
+      /** The limit grows by a factor as evidence accumulates. */
       readonly kind: 'ramping';
       readonly identity: EngineIdentity;
       readonly limit: number;
     }
   | {
-      /** The limit grows by single sequences; it has met its upper bound or a collapse sign. */
+      /** The limit reached its upper bound or was decreased; it grows by one sequence at a time. */
       readonly kind: 'serving';
       readonly identity: EngineIdentity;
       readonly limit: number;
     };
 
-/** A request at the endpoint daemon. */
+/** A request that arrived at the endpoint daemon. */
 export interface AdmissionRequest {
   readonly requestId: RequestId;
   readonly targets: ClassTargets;
@@ -47,15 +47,15 @@
   readonly promptTokens: number;
 }
 
-/** An admitted request that runs at the engine. */
+/** An admitted request that runs on the engine. */
 export interface RunningSequence extends AdmissionRequest {
   readonly generated: number;
-  /** Whether the engine showed its identity after it took the sequence. */
+  /** Whether the engine's identity was confirmed after the sequence was admitted. */
   readonly engine: 'confirmed' | 'unconfirmed';
   readonly admittedAt: Millis;
 }
 
-/** Memory of the engine at its last load page. */
+/** Memory of the engine according to its last load page. */
 export interface EngineMemory {
   readonly usedTokens: number;
   /** 0 for plain services. */
@@ -64,11 +64,11 @@
   readonly preemptions: number;
 }
 
-/** Time between tokens of one sequence. */
+/** Moving average of the time between tokens, and its baseline. */
 export interface TokenGaps {
-  /** Smallest mean seen of this engine since its start; absent before any evidence. */
+  /** Lowest moving average since the engine's start; absent before enough samples. */
   readonly baselineMs?: Millis;
-  /** Mean of the most recent gaps. */
+  /** Exponential moving average of the gaps. */
   readonly recentMs?: Millis;
   readonly samples: number;
 }
@@ -78,7 +78,7 @@
   readonly running: ReadonlyMap<RequestId, RunningSequence>;
   readonly memory: EngineMemory;
   readonly gaps: TokenGaps;
-  /** Units of evidence near the limit since it last changed. */
+  /** Units of evidence, collected near the limit since it last changed. */
   readonly evidence: number;
   readonly changedAt: Millis;
 }
@@ -89,9 +89,9 @@
       readonly kind: 'load-read';
       readonly identity: EngineIdentity;
       readonly memory: EngineMemory;
-      /** Tokens generated so far, of the sequences in the daemon's buffers. */
+      /** Tokens generated so far by the sequences in the daemon's buffers. */
       readonly generated: ReadonlyMap<RequestId, number>;
-      /** When the page was asked for; it confirms the sequences admitted before. */
+      /** When the page was requested; it confirms the sequences admitted before. */
       readonly requestedAt: Millis;
       readonly now: Millis;
     }
@@ -101,14 +101,14 @@
       readonly kind: 'tokens-received';
       readonly requestId: RequestId;
       readonly tokens: number;
-      /** Mean time between them. */
+      /** Mean time between the tokens. */
       readonly gapMs: Millis;
       readonly now: Millis;
     }
   | {
       readonly kind: 'sequence-ended';
       readonly requestId: RequestId;
-      /** `engine-failed` when the engine broke off, as it does when it dies or restarts. */
+      /** `engine-failed` when the engine aborted the sequence, as when it crashes or restarts. */
       readonly reason: 'finished' | 'cancelled' | 'engine-failed';
       readonly now: Millis;
     }
@@ -121,43 +121,43 @@
       readonly phase: AdmissionPhase['kind'];
       readonly cause: LimitCause;
     }
-  /** The load page must be read now, since more admissions depend on the engine's identity. */
+  /** The load page must be read now, since further admissions depend on the engine's identity. */
   | { readonly kind: 'read-load' }
-  /** The engine that ran these sequences is gone. */
+  /** The engine that ran these sequences has been replaced. */
   | { readonly kind: 'sequences-lost'; readonly requestIds: readonly RequestId[] };
 
-/** Bounds and rates of the limit. */
+/** Bounds and growth parameters of the admission limit. */
 export interface AdmissionSettings {
-  /** Sequences given to an engine of which nothing is known. */
+  /** Limit of an engine of which nothing is known yet. */
   readonly startLimit: number;
   readonly maxLimit: number;
-  /** Admissions before the engine must show its identity again. */
+  /** Maximum number of admissions before the engine's identity must be confirmed again. */
   readonly maxUnconfirmed: number;
-  /** Factor of growth while ramping. */
+  /** Growth factor of the limit while ramping. */
   readonly growthFactor: number;
-  /** Factor on the limit at a collapse sign. */
+  /** Factor on the limit at a sign of collapse or a preemption. */
   readonly decreaseFactor: number;
-  /** Tokens that count as one unit of evidence; the limit grows after one unit per sequence. */
+  /** Tokens per unit of evidence; the limit grows after one unit per allowed sequence. */
   readonly evidenceTokens: number;
-  /** Units that a completion counts: 0 for engines, which warm up by tokens; 1 for services. */
+  /** Units of evidence per completion: 0 for engines, which warm up by tokens; 1 for services. */
   readonly completionEvidence: number;
-  /** Gap up to which the limit grows, as a multiple of the baseline. */
+  /** Highest mean gap at which the limit grows, as a multiple of the baseline. */
   readonly nearBaselineFactor: number;
-  /** Mean gap from which on the limit falls, as a multiple of the baseline. */
+  /** Mean gap above which the limit is decreased, as a multiple of the baseline. */
   readonly collapseFactor: number;
-  /** Mean gap from which on the engine's cache counts as cold, as a multiple of the baseline. */
+  /** Mean gap above which the engine's cache is considered cold, as a multiple of the baseline. */
   readonly coldFactor: number;
-  /** Gap that operators accept; the limit grows up to it even above `nearFactor`. */
+  /** Gap that operators accept; up to it, the limit grows even above `nearBaselineFactor`. */
   readonly acceptedGapMs: Millis;
-  /** Time after a change in which no further decrease follows: gaps lag behind the limit. */
+  /** Time after a change during which the limit is not decreased, since gaps lag behind it. */
   readonly settleMs: Millis;
-  /** Whether predicted memory bounds the running sequences besides the limit. */
+  /** Whether predicted memory use bounds the running sequences in addition to the limit. */
   readonly memoryBound: 'predicted' | 'none';
   readonly horizonMs: Millis;
   readonly overflowProbability: number;
 }
 
-/** Inputs of admission decisions besides state and event. */
+/** Inputs of admission decisions in addition to the state and the event. */
 export interface AdmissionContext {
   readonly settings: AdmissionSettings;
   readonly survival: SurvivalView;
