--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -1,20 +1,20 @@
 import {
+  MAX_CHECKS_PER_CHOICE,
   MAX_SLOT_CHECKS,
   PREFIX_DECAY_MS,
   SAMPLING_STRIDES,
-  MAX_CHECKS_PER_CHOICE,
 } from './constants.js';
 import { countRequests, hasSlot, isCandidate } from './eligible.js';
 import { buildInputs, checkEndpoint } from './headroom.js';
-import type { HeadroomInputs, CandidateCheck } from './headroom.js';
+import type { CandidateCheck, HeadroomInputs } from './headroom.js';
 import type {
   EndpointView,
-  PlacementTableView,
   PlacementCandidate,
   PlacementDecision,
   PlacementPolicy,
   PlacementReason,
   PlacementRequest,
+  PlacementTableView,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { RandomSource } from '../../core/random.js';
@@ -64,10 +64,7 @@
       : createFailure('not-run', 'no-endpoint', `endpoint ${request.pinned} accepts no work`),
 });
 
-/**
- * Waits if a full endpoint may free a slot; refuses if none serves the target, since waiting cannot
- * help.
- */
+/** Waits if a full endpoint may free a slot; refuses if there is no endpoint to wait for. */
 const decideWithoutSlot = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -112,8 +109,7 @@
     fewest = requests;
     tied.push(view);
   }
-  // Ties are broken randomly, so that entry daemons with the same view do not pick the same
-  // endpoint.
+  // Random tie-breaking keeps entry daemons with the same view from choosing the same endpoint.
   const view = tied[Math.floor(random.next() * tied.length)];
   if (view === undefined) return decideWithoutSlot(request, endpoints);
   return buildPlaced(request, view, 'fewest-requests', [buildBaselineCandidate(view, fewest)]);
--- a/packages/decisions/placement/constants.ts
+++ b/packages/decisions/placement/constants.ts
@@ -18,9 +18,7 @@
  */
 export const MIN_LIMIT_FOR_RESERVE = 4;
 
-/**
- * Score bonus of an endpoint in the same data centre, as a share of memory; decides only near-ties.
- */
+/** Score bonus of the same data centre, as a share of memory; decides only near-ties. */
 export const SAME_DATA_CENTRE_BONUS = 0.02;
 
 /**
@@ -53,9 +51,7 @@
 /** Minimum progress in tokens between two refreshes of a placement's forecast. */
 export const FORECAST_REFRESH_TOKENS = 16;
 
-/**
- * Factor on the accepted overflow probability for critical classes, and the result's upper bound.
- */
+/** Factor on the accepted overflow probability for critical classes, and its upper bound. */
 export const CRITICAL_OVERFLOW_FACTOR = 20;
 export const MAX_ACCEPTED_OVERFLOW = 0.2;
 
--- a/packages/decisions/placement/crowded.bench.ts
+++ b/packages/decisions/placement/crowded.bench.ts
@@ -70,9 +70,7 @@
     WARM_UP_MS + measuredMs,
   );
 
-/**
- * Finds the request rate at which mean memory demand, with unlimited memory, is the given share.
- */
+/** Finds the request rate at which mean demand for unlimited memory is the given share. */
 const findRate = (share: number): number => {
   const wanted = share * OPTIONS.engines * OPTIONS.memoryTokens;
   const settings = { ...LIMIT_ONLY, startLimit: 100_000, maxLimit: 100_000, maxUnconfirmed: 1e6 };
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -33,7 +33,7 @@
   readonly name: string;
   readonly policy: PlacementPolicy;
   readonly admission: AdmissionSettings;
-  /** Whether requests carry priority numbers by class to the engines. */
+  /** Whether engines receive priority numbers by class. */
   readonly priorities: 'by-class' | 'none';
 }
 
@@ -202,9 +202,7 @@
   });
 };
 
-/**
- * Tries endpoints until one admits the request; excludes those that refuse it from this attempt.
- */
+/** Tries endpoints until one admits the request or none is left that has not refused it. */
 const dispatchItem = (
   cluster: Cluster,
   entry: ClusterEntry,
--- a/packages/decisions/placement/eligible.ts
+++ b/packages/decisions/placement/eligible.ts
@@ -2,8 +2,8 @@
 import type {
   EndpointPhase,
   EndpointView,
-  PlacementTableView,
   PlacementRequest,
+  PlacementTableView,
   PlacementTarget,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -55,8 +55,7 @@
 };
 
 /**
- * Reports whether an endpoint serves a request's target and accepts new work, regardless of its
- * load.
+ * Reports whether an endpoint serves a request's target and accepts work, regardless of its load.
  *
  * @param request - request to place
  * @param endpoint - known endpoint
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -8,10 +8,10 @@
 } from './constants.js';
 import type {
   EndpointView,
-  PlacementTableView,
   PlacementCandidate,
   PlacementPolicy,
   PlacementRequest,
+  PlacementTableView,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -138,8 +138,7 @@
   const freeSlots = 1 - (requests + 1) / endpoint.limit;
   switch (inputs.request.targets.answerLength) {
     case 'short':
-      // A short answer ends before memory fills up; its latency depends on the requests ahead of
-      // it.
+      // A short answer ends before memory fills up; its latency depends on the requests ahead.
       return localityBonus + freeSlots;
     case 'long':
       return localityBonus + memory.headroom;
@@ -179,8 +178,7 @@
       overflowProbability: memory.overflowProbability,
       headroom: memory.headroom,
     },
-    // An idle engine accepts any request; otherwise one with a long predicted output would wait
-    // forever.
+    // An idle engine accepts any request; otherwise one that is too long would wait forever.
     room: requests === 0 || memory.overflowProbability <= accepted ? 'fits' : 'too-full',
     prefixBonus,
   };
--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -43,9 +43,7 @@
    * `count` requests.
    */
   readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
-  /**
-   * Records that a load report sampled at `takenAt`, on this daemon's clock, replaced the last one.
-   */
+  /** Records that a load report sampled at `takenAt` on this daemon's clock replaced the last one. */
   readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
   /** Removes an endpoint and its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
@@ -131,8 +129,7 @@
     entry.load.requestsAtRefusal = 0;
     updateSums(entry.load, tracked.report, -1, -tokens);
     mergeMemoryChange(entry.load.change, tracked.change, -1);
-    // Repeated addition and subtraction accumulates rounding errors, so an idle endpoint is reset
-    // to zero.
+    // Adding and subtracting accumulates rounding errors, so an idle endpoint is reset to zero.
     if (entry.placements.size === 0) entry.load.change = createMemoryChange();
     if (tracked.report === 'not-included') return;
     entry.ended = [...entry.ended, { endedAt: now, tokens }];
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -7,7 +7,7 @@
  */
 export const FORECAST_STEPS_TOKENS: readonly number[] = [16, 64, 256, 1_024, 4_096];
 
-/** Lower bound on survival probabilities before their logarithm is taken. */
+/** Lower bound that keeps the logarithm of a survival probability of 0 finite. */
 const MIN_SURVIVAL = 1e-12;
 
 /** Predicted change of memory use at each forecast step, in tokens: sums over sequences. */
