--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -97,7 +97,7 @@
     }
   | { readonly kind: 'admitted'; readonly request: AdmissionRequest; readonly now: Millis }
   | {
-      /** Tokens of one sequence arrived; for a plain service, 0 tokens and the latency of a call. */
+      /** Tokens of one sequence arrived; a plain service has 0 tokens and the latency of a call. */
       readonly kind: 'tokens-received';
       readonly requestId: RequestId;
       readonly tokens: number;
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -202,7 +202,7 @@
   });
 };
 
-/** Tries endpoints until one admits the request or none is left that has not refused it. */
+/** Tries endpoints until one admits the request; one that refuses is not tried again. */
 const dispatchItem = (
   cluster: Cluster,
   entry: ClusterEntry,
