--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -43,7 +43,7 @@
    * `count` requests.
    */
   readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
-  /** Replaces the last load report by one sampled at `takenAt`, on this daemon's clock. */
+  /** Applies a load report, sampled at `takenAt` on this daemon's clock, to the totals. */
   readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
   /** Removes an endpoint and its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
