--- a/packages/decisions/admission/coldEngineSimulation.fixture.ts
+++ b/packages/decisions/admission/coldEngineSimulation.fixture.ts
@@ -11,22 +11,22 @@
 const RUN_MS = 60_000;
 const LOAD_PERIOD_MS = 250;
 const READ_DELAY_MS = 10;
-const TOKEN_MS = 30;
-const COLD_BEARABLE = 2;
-const TOKENS_PER_BEARABLE = 400;
-const MAX_BEARABLE = 24;
+const MIN_GAP_MS = 30;
+const COLD_CAPACITY = 2;
+const WARM_UP_TOKENS_PER_SEQUENCE = 400;
+const MAX_CAPACITY = 24;
 const CONTEXT = { settings: DEFAULT_ADMISSION_SETTINGS, survival: createSurvivalTable() };
 
-/** How a restart shows: connections break at once, or they hang. */
+/** How a restart becomes visible: connections break at once, or they hang. */
 type RestartSign = 'broken-connections' | 'hanging-connections';
 
 interface Engine {
   identity: number;
   warmTokens: number;
-  readonly running: Map<string, { left: number; progress: number }>;
+  readonly running: Map<string, { remaining: number; progress: number }>;
 }
 
-/** One run of the simulation. */
+/** Parameters of a simulation run. */
 export interface Scenario {
   readonly seed: number;
   readonly entryDaemons: number;
@@ -34,7 +34,7 @@
   readonly restarts: readonly { readonly at: number; readonly sign: RestartSign }[];
 }
 
-/** What a run showed. */
+/** Counts observed in a run. */
 export interface Outcome {
   readonly collapses: number;
   readonly overruns: number;
@@ -42,11 +42,11 @@
   readonly highestLimit: number;
 }
 
-const computeBearable = (engine: Engine): number =>
-  Math.min(MAX_BEARABLE, COLD_BEARABLE + engine.warmTokens / TOKENS_PER_BEARABLE);
+const computeCapacity = (engine: Engine): number =>
+  Math.min(MAX_CAPACITY, COLD_CAPACITY + engine.warmTokens / WARM_UP_TOKENS_PER_SEQUENCE);
 
 const computeGap = (engine: Engine): number =>
-  TOKEN_MS * (1 + (engine.running.size / computeBearable(engine)) ** 2);
+  MIN_GAP_MS * (1 + (engine.running.size / computeCapacity(engine)) ** 2);
 
 const buildRequest = (requestId: string): AdmissionRequest => ({
   requestId,
@@ -57,17 +57,18 @@
 });
 
 /**
- * Drives the decisions of one endpoint daemon against an engine that warms up as it works.
+ * Runs the decisions of one endpoint daemon against an engine whose capacity grows with the tokens
+ * it has generated.
  *
  * @param scenario - seed, load and restarts
- * @returns what the run showed
+ * @returns counts observed in the run
  */
 export const runScenario = (scenario: Scenario): Outcome => {
   const random: RandomSource = createRandomSource(scenario.seed);
   const engine: Engine = { identity: 0, warmTokens: 0, running: new Map() };
   const reads: { readonly requestedAt: number; readonly at: number }[] = [];
   let state: AdmissionState = createAdmissionState(0);
-  let number = 0;
+  let requestCount = 0;
   const outcome = { collapses: 0, overruns: 0, finished: 0, highestLimit: 0 };
 
   const handle = (event: AdmissionEvent): void => {
@@ -100,12 +101,12 @@
   const sendRequests = (now: number): void => {
     for (let daemon = 0; daemon < scenario.entryDaemons; daemon += 1) {
       if (random.next() > 0.2) continue;
-      number += 1;
-      const request = buildRequest(number.toString());
+      requestCount += 1;
+      const request = buildRequest(requestCount.toString());
       const decision =
         scenario.limiting === 'decided'
           ? decideAdmit(state, request, CONTEXT).kind
-          : state.running.size < MAX_BEARABLE
+          : state.running.size < MAX_CAPACITY
             ? 'admit'
             : 'refuse';
       if (decision === 'refuse') continue;
@@ -114,7 +115,7 @@
       }
       handle({ kind: 'admitted', request, now });
       const length = 5 + Math.floor(-200 * Math.log(1 - random.next()));
-      engine.running.set(request.requestId, { left: length, progress: 0 });
+      engine.running.set(request.requestId, { remaining: length, progress: 0 });
     }
   };
 
@@ -124,10 +125,10 @@
       sequence.progress += TICK_MS / gapMs;
       if (sequence.progress < 1) continue;
       sequence.progress -= 1;
-      sequence.left -= 1;
+      sequence.remaining -= 1;
       engine.warmTokens += 1;
       handle({ kind: 'tokens-received', requestId, tokens: 1, gapMs, now });
-      if (sequence.left > 0) continue;
+      if (sequence.remaining > 0) continue;
       engine.running.delete(requestId);
       outcome.finished += 1;
       handle({ kind: 'sequence-ended', requestId, reason: 'finished', now });
@@ -142,7 +143,7 @@
       else reads.push(read);
     }
     sendRequests(now);
-    if (engine.running.size > computeBearable(engine)) outcome.collapses += 1;
+    if (engine.running.size > computeCapacity(engine)) outcome.collapses += 1;
     generateTokens(now);
     outcome.highestLimit = Math.max(outcome.highestLimit, getLimit(state));
   }
@@ -155,7 +156,7 @@
 });
 
 /**
- * Builds the property that a cold engine is never given more than it can bear.
+ * Builds the property that a cold engine never runs more sequences than its capacity.
  *
  * @param observe - receives the outcome of each run
  * @returns a fast-check property
--- a/packages/decisions/admission/decideLimit.ts
+++ b/packages/decisions/admission/decideLimit.ts
@@ -32,7 +32,7 @@
 
 const NO_GAPS: TokenGaps = { samples: 0 };
 
-/** Creates the state of a daemon that has not yet seen its engine. */
+/** Creates the state of a daemon that has not yet read its engine's identity. */
 export const createAdmissionState = (now: Millis): AdmissionState => ({
   phase: { kind: 'starting' },
   running: new Map(),
@@ -43,10 +43,10 @@
 });
 
 /**
- * Returns the sequences that may run now.
+ * Returns the number of sequences that may run now.
  *
- * @param state - state of the limit
- * @returns the limit, 0 while the engine's identity is not confirmed
+ * @param state - admission state
+ * @returns the limit; 0 while the engine's identity is not confirmed
  */
 export const getLimit = (state: AdmissionState): number => {
   switch (state.phase.kind) {
@@ -61,9 +61,9 @@
 };
 
 /**
- * Counts the sequences that the engine took since it last showed its identity.
+ * Counts the sequences admitted since the engine's identity was last confirmed.
  *
- * @param state - state of the limit
+ * @param state - admission state
  * @returns number of unconfirmed sequences
  */
 export const countUnconfirmed = (state: AdmissionState): number => {
@@ -84,7 +84,7 @@
   return toStep(next, { kind: 'limit-changed', limit: getLimit(next), phase: phase.kind, cause });
 };
 
-const startEngine = (
+const startRamp = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -98,8 +98,8 @@
     now,
   );
 
-/** A broken sequence may mean a restart, so nothing is admitted until the identity is read again. */
-const resetEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
+/** Stops admission until the identity is read again, since a failure may mean a restart. */
+const handleSuspectedEngine = (state: AdmissionState, now: Millis): AdmissionStep => {
   const { phase } = state;
   if (phase.kind === 'starting') return toStep(state, { kind: 'read-load' });
   const previous = { identity: phase.identity, limit: phase.limit };
@@ -107,8 +107,11 @@
   return toStep(step.state, ...step.effects, { kind: 'read-load' });
 };
 
-/** Sequences confirmed under the old identity ended with it; later ones may run on the new engine. */
-const updateEngine = (
+/**
+ * Sequences confirmed under the old identity are lost with the old engine; unconfirmed ones may run
+ * on the new one.
+ */
+const handleNewEngine = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -117,7 +120,7 @@
   const lost = [...state.running.values()].filter((sequence) => sequence.engine === 'confirmed');
   const running = new Map(state.running);
   for (const sequence of lost) running.delete(sequence.requestId);
-  const step = startEngine({ ...state, running }, identity, settings, 'engine-changed', now);
+  const step = startRamp({ ...state, running }, identity, settings, 'engine-changed', now);
   return toStep(step.state, ...step.effects, {
     kind: 'sequences-lost',
     requestIds: lost.map((sequence) => sequence.requestId),
@@ -138,7 +141,7 @@
   return applyPhase(state, { kind: 'serving', identity, limit: lower }, cause, now);
 };
 
-const settleIdentity = (
+const handleIdentity = (
   state: AdmissionState,
   identity: EngineIdentity,
   settings: AdmissionSettings,
@@ -148,17 +151,17 @@
   if (phase.kind !== 'starting') {
     return phase.identity === identity
       ? toStep(state)
-      : updateEngine(state, identity, settings, now);
+      : handleNewEngine(state, identity, settings, now);
   }
   if (phase.previous === undefined) {
-    return startEngine(state, identity, settings, 'engine-seen', now);
+    return startRamp(state, identity, settings, 'engine-seen', now);
   }
-  if (phase.previous.identity !== identity) return updateEngine(state, identity, settings, now);
+  if (phase.previous.identity !== identity) return handleNewEngine(state, identity, settings, now);
   const limit = Math.max(settings.startLimit, Math.floor(phase.previous.limit / 2));
   return applyPhase(state, { kind: 'ramping', identity, limit }, 'engine-seen', now);
 };
 
-/** A page that was asked for before the admission says nothing about the sequence's engine. */
+/** A load page requested before a sequence's admission does not confirm the sequence's engine. */
 const updateSequence = (
   sequence: RunningSequence,
   event: EventOf<'load-read'>,
@@ -173,15 +176,15 @@
   event: EventOf<'load-read'>,
   settings: AdmissionSettings,
 ): AdmissionStep => {
-  const settled = settleIdentity(state, event.identity, settings, event.now);
+  const identityStep = handleIdentity(state, event.identity, settings, event.now);
   const running = new Map<RequestId, RunningSequence>();
-  for (const [id, sequence] of settled.state.running) {
+  for (const [id, sequence] of identityStep.state.running) {
     running.set(id, updateSequence(sequence, event));
   }
-  const next = { ...settled.state, running, memory: event.memory };
+  const next = { ...identityStep.state, running, memory: event.memory };
   const preempted =
-    settled.effects.length === 0 && event.memory.preemptions > state.memory.preemptions;
-  if (!preempted) return toStep(next, ...settled.effects);
+    identityStep.effects.length === 0 && event.memory.preemptions > state.memory.preemptions;
+  if (!preempted) return toStep(next, ...identityStep.effects);
   return applyDecrease(next, settings, 'preemption', event.now);
 };
 
@@ -210,8 +213,11 @@
     : toStep(next);
 };
 
-/** A prefill or a preemption makes single gaps of seconds, which must not look like a cold engine. */
-const computeCountedGap = (
+/**
+ * Caps a gap: a prefill or a preemption causes single gaps of seconds, which must not be mistaken
+ * for a cold engine.
+ */
+const computeCappedGap = (
   gapMs: Millis,
   baselineMs: Millis | undefined,
   settings: AdmissionSettings,
@@ -228,7 +234,7 @@
 const isNearBaseline = (gaps: TokenGaps, settings: AdmissionSettings): boolean =>
   gaps.baselineMs !== undefined &&
   gaps.recentMs !== undefined &&
-  gaps.recentMs <= Math.max(settings.nearFactor * gaps.baselineMs, settings.acceptedGapMs);
+  gaps.recentMs <= Math.max(settings.nearBaselineFactor * gaps.baselineMs, settings.acceptedGapMs);
 
 const hasFreeMemory = (state: AdmissionState): boolean => {
   const { usedTokens, totalTokens } = state.memory;
@@ -245,8 +251,8 @@
   if (phase.kind === 'starting') return toStep(state);
   if (state.running.size < phase.limit * EVIDENCE_LOAD_SHARE) return toStep(state);
   const evidence = state.evidence + amount;
-  const isEnough = evidence >= phase.limit && phase.limit < settings.maxLimit;
-  if (!isEnough || !isNearBaseline(state.gaps, settings) || !hasFreeMemory(state)) {
+  const hasEnoughEvidence = evidence >= phase.limit && phase.limit < settings.maxLimit;
+  if (!hasEnoughEvidence || !isNearBaseline(state.gaps, settings) || !hasFreeMemory(state)) {
     return toStep({ ...state, evidence: Math.min(evidence, phase.limit) });
   }
   const factor = phase.kind === 'ramping' ? settings.growthFactor : 1;
@@ -264,7 +270,7 @@
   const { phase } = state;
   const { baselineMs } = state.gaps;
   if (phase.kind === 'starting') return toStep(state);
-  const gaps = updateGaps(state.gaps, computeCountedGap(event.gapMs, baselineMs, settings));
+  const gaps = updateGaps(state.gaps, computeCappedGap(event.gapMs, baselineMs, settings));
   const next = { ...state, gaps };
   const recentMs = gaps.recentMs ?? 0;
   const factor = recentMs / (gaps.baselineMs ?? Infinity);
@@ -272,7 +278,7 @@
     return addEvidence(next, event.tokens / settings.evidenceTokens, settings, event.now);
   }
   return factor > settings.coldFactor
-    ? startEngine(next, phase.identity, settings, 'cold-latency', event.now)
+    ? startRamp(next, phase.identity, settings, 'cold-latency', event.now)
     : applyDecrease(next, settings, 'collapse', event.now);
 };
 
@@ -286,25 +292,26 @@
   running.delete(event.requestId);
   switch (event.reason) {
     case 'finished': {
-      // The ended sequence was part of the load that the evidence is about.
+      // Evidence is added before the sequence is removed, since the sequence was part of the load.
       const step = addEvidence(state, settings.completionEvidence, settings, event.now);
       return toStep({ ...step.state, running }, ...step.effects);
     }
     case 'cancelled':
       return toStep({ ...state, running });
     case 'engine-failed':
-      return resetEngine({ ...state, running }, event.now);
+      return handleSuspectedEngine({ ...state, running }, event.now);
     default:
       return assertNever(event.reason);
   }
 };
 
 /**
- * Decides the admission limit: it starts low, grows with evidence, falls by a factor at collapse
- * signs, and falls to the start value when the engine may be cold.
+ * Decides the admission limit. It starts low, grows with evidence, is multiplied by the decrease
+ * factor when the engine shows signs of collapse or preempts, and is reset to the start limit when
+ * the engine may be cold.
  *
- * @param state - state of the limit
- * @param event - what was seen of the engine
+ * @param state - admission state
+ * @param event - observation of the engine or of its sequences
  * @param context - settings and length estimates
  * @returns next state and effects
  */
@@ -324,7 +331,7 @@
     case 'sequence-ended':
       return handleEnd(state, event, settings);
     case 'engine-unreachable':
-      return resetEngine(state, event.now);
+      return handleSuspectedEngine(state, event.now);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -1,20 +1,20 @@
 import {
+  MAX_CHECKS_PER_CHOICE,
   MAX_SLOT_CHECKS,
-  PREFIX_FRESHNESS_MS,
+  PREFIX_DECAY_MS,
   SAMPLING_STRIDES,
-  TESTS_PER_CHOICE,
 } from './constants.js';
 import { countRequests, hasSlot, isCandidate } from './eligible.js';
 import { buildInputs, checkEndpoint } from './headroom.js';
-import type { HeadroomInputs, TestedEndpoint } from './headroom.js';
+import type { CandidateCheck, HeadroomInputs } from './headroom.js';
 import type {
   EndpointView,
-  OwnView,
   PlacementCandidate,
   PlacementDecision,
   PlacementPolicy,
   PlacementReason,
   PlacementRequest,
+  PlacementTableView,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { RandomSource } from '../../core/random.js';
@@ -35,14 +35,14 @@
   view: EndpointView,
   reason: PlacementReason,
   candidates: readonly PlacementCandidate[],
-  more: readonly PlacementReason[] = [],
+  extraReasons: readonly PlacementReason[] = [],
 ): PlacementDecision => ({
   kind: 'place',
   endpoint: view.endpoint,
   incarnation: view.incarnation,
   reasons: [
     request.pinned === undefined ? reason : 'pinned',
-    ...more,
+    ...extraReasons,
     ...(view.dataCentre === request.dataCentre ? (['same-data-centre'] as const) : []),
   ],
   candidates,
@@ -60,11 +60,11 @@
   kind: 'refuse',
   failure:
     request.pinned === undefined
-      ? createFailure('not-run', 'no-endpoint', 'no endpoint that takes work serves the request')
-      : createFailure('not-run', 'no-endpoint', `endpoint ${request.pinned} takes no work`),
+      ? createFailure('not-run', 'no-endpoint', 'no endpoint that accepts work serves the request')
+      : createFailure('not-run', 'no-endpoint', `endpoint ${request.pinned} accepts no work`),
 });
 
-/** Full endpoints may get room soon, while missing ones would let the caller wait in vain. */
+/** Waits if a full endpoint may free a slot; refuses if there is no endpoint to wait for. */
 const decideWithoutSlot = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -73,17 +73,20 @@
     ? buildWait(request, 'at-limit')
     : buildRefusal(request);
 
-/** Walks from the turn's place in the whole list, so that a full endpoint does not shift the rest. */
-const chooseInTurn = (
+/**
+ * Starts at the round-robin position among all candidates and skips full endpoints, so that a full
+ * endpoint does not shift the turn of the others.
+ */
+const chooseRoundRobin = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
 ): PlacementDecision => {
   const serving = endpoints.filter((endpoint) => isCandidate(request, endpoint));
-  const first = own.getTurn() % Math.max(1, serving.length);
+  const first = placements.getPlacementCount() % Math.max(1, serving.length);
   for (let step = 0; step < serving.length; step += 1) {
     const view = serving[(first + step) % serving.length] as EndpointView;
-    const requests = countRequests(view, own);
+    const requests = countRequests(view, placements);
     if (!hasSlot(request, view, requests)) continue;
     return buildPlaced(request, view, 'next-in-turn', [buildBaselineCandidate(view, requests)]);
   }
@@ -93,26 +96,29 @@
 const chooseFewestRequests = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
   random: RandomSource,
 ): PlacementDecision => {
   let fewest = Infinity;
   let tied: EndpointView[] = [];
   for (const view of endpoints) {
     if (!isCandidate(request, view)) continue;
-    const requests = countRequests(view, own);
+    const requests = countRequests(view, placements);
     if (requests > fewest || !hasSlot(request, view, requests)) continue;
     if (requests < fewest) tied = [];
     fewest = requests;
     tied.push(view);
   }
-  // Ties are broken by chance, so that entry daemons with the same view do not herd.
+  // Random tie-breaking keeps entry daemons with the same view from choosing the same endpoint.
   const view = tied[Math.floor(random.next() * tied.length)];
   if (view === undefined) return decideWithoutSlot(request, endpoints);
   return buildPlaced(request, view, 'fewest-requests', [buildBaselineCandidate(view, fewest)]);
 };
 
-/** Starts at a random place, so that several holders share the requests of one prefix. */
+/**
+ * Finds an endpoint that has the request's prefix cached. The search starts at a random position,
+ * so that several such endpoints share the requests of one prefix.
+ */
 const findPrefixHolder = (
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
@@ -127,53 +133,54 @@
     if (best !== undefined && view.prefixAgeMs >= best.prefixAgeMs) continue;
     if (!view.prefixes.has(prefix) || !isCandidate(request, view)) continue;
     best = view;
-    if (view.prefixAgeMs < PREFIX_FRESHNESS_MS / 2) break;
+    if (view.prefixAgeMs < PREFIX_DECAY_MS / 2) break;
   }
   return best;
 };
 
-/** Picks a stride that visits every endpoint once: a prime that does not divide their number. */
+/** Picks a stride that visits every endpoint once: a prime that does not divide the count. */
 const pickStride = (count: number, random: RandomSource): number => {
   const stride = SAMPLING_STRIDES[Math.floor(random.next() * SAMPLING_STRIDES.length)] ?? 1;
   return count % stride === 0 ? 1 : stride;
 };
 
 /**
- * Tests endpoints in random order until enough of them fit; the holder of the prefix goes first.
- * Endpoints without a free slot cost no test, and no list of all endpoints is built. In a large fleet
- * a request may wait although a slot is free somewhere, when none of a large sample has one.
+ * Checks endpoints in random order until enough of them fit, starting with the one that has the
+ * prefix cached. Memory is predicted only for endpoints with a free slot, and no list of all
+ * endpoints is built. In a large fleet a request may wait although some endpoint has a free slot,
+ * if none of the `MAX_SLOT_CHECKS` sampled endpoints has one.
  */
-const collectTested = (
+const checkCandidates = (
   inputs: HeadroomInputs,
   endpoints: readonly EndpointView[],
   random: RandomSource,
-): readonly TestedEndpoint[] => {
-  const { request, policy, own } = inputs;
-  const tested: TestedEndpoint[] = [];
+): readonly CandidateCheck[] => {
+  const { request, policy, placements } = inputs;
+  const checks: CandidateCheck[] = [];
   let fitting = 0;
-  let checked = 0;
+  let slotChecks = 0;
   const checkNext = (view: EndpointView): void => {
-    checked += 1;
-    const requests = countRequests(view, own);
+    slotChecks += 1;
+    const requests = countRequests(view, placements);
     if (!hasSlot(request, view, requests)) return;
-    const test = checkEndpoint(inputs, view, requests);
-    tested.push(test);
-    if (test.room === 'fits') fitting += 1;
+    const check = checkEndpoint(inputs, view, requests);
+    checks.push(check);
+    if (check.room === 'fits') fitting += 1;
   };
   const holder = findPrefixHolder(request, endpoints, random);
   if (holder !== undefined) checkNext(holder);
   const count = endpoints.length;
   const stride = pickStride(count, random);
-  const bound = policy.choices * TESTS_PER_CHOICE;
+  const bound = policy.choices * MAX_CHECKS_PER_CHOICE;
   let position = Math.floor(random.next() * count);
   for (let step = 0; step < count; step += 1) {
-    if (fitting >= policy.choices || tested.length >= bound) break;
-    if (checked >= MAX_SLOT_CHECKS) break;
+    if (fitting >= policy.choices || checks.length >= bound) break;
+    if (slotChecks >= MAX_SLOT_CHECKS) break;
     const view = endpoints[position] as EndpointView;
     position = (position + stride) % count;
     if (view !== holder && isCandidate(request, view)) checkNext(view);
   }
-  return tested;
+  return checks;
 };
 
 const chooseMostHeadroom = (
@@ -182,12 +189,12 @@
   random: RandomSource,
 ): PlacementDecision => {
   const { request } = inputs;
-  const tested = collectTested(inputs, endpoints, random);
-  if (tested.length === 0) return decideWithoutSlot(request, endpoints);
-  let best: TestedEndpoint | undefined;
-  for (const test of tested) {
-    if (test.room === 'too-full') continue;
-    if (best === undefined || test.candidate.score > best.candidate.score) best = test;
+  const checks = checkCandidates(inputs, endpoints, random);
+  if (checks.length === 0) return decideWithoutSlot(request, endpoints);
+  let best: CandidateCheck | undefined;
+  for (const check of checks) {
+    if (check.room === 'too-full') continue;
+    if (best === undefined || check.candidate.score > best.candidate.score) best = check;
   }
   if (best === undefined) return buildWait(request, 'memory-full');
   const reason = request.targets.answerLength === 'short' ? 'shortest-wait' : 'most-headroom';
@@ -195,37 +202,41 @@
     request,
     best.view,
     reason,
-    tested.map((test) => test.candidate),
-    best.prefixWorth > 0 ? ['prefix-cached'] : [],
+    checks.map((check) => check.candidate),
+    best.prefixBonus > 0 ? ['prefix-cached'] : [],
   );
 };
 
 /**
- * Chooses the endpoint of a request.
+ * Chooses the endpoint for a request.
  *
- * @param policy - how to choose among the endpoints that may take it
- * @param request - what is to be placed
+ * @param policy - how to choose among the endpoints that may serve the request
+ * @param request - request to place
  * @param endpoints - all known endpoints
- * @param own - this daemon's placements since the load reports
- * @param survival - length estimates
- * @param random - breaks ties and samples candidates
- * @returns the endpoint, or that the request waits, or a refusal as not-run
+ * @param placements - this daemon's placements
+ * @param survival - output length estimates
+ * @param random - source of randomness for breaking ties and sampling candidates
+ * @returns the chosen endpoint, the reason to wait, or a refusal with verdict `not-run`
  */
 export const choosePlacement = (
   policy: PlacementPolicy,
   request: PlacementRequest,
   endpoints: readonly EndpointView[],
-  own: OwnView,
+  placements: PlacementTableView,
   survival: SurvivalView,
   random: RandomSource,
 ): PlacementDecision => {
   switch (policy.kind) {
     case 'round-robin':
-      return chooseInTurn(request, endpoints, own);
+      return chooseRoundRobin(request, endpoints, placements);
     case 'least-requests':
-      return chooseFewestRequests(request, endpoints, own, random);
+      return chooseFewestRequests(request, endpoints, placements, random);
     case 'predicted-headroom':
-      return chooseMostHeadroom(buildInputs(policy, request, own, survival), endpoints, random);
+      return chooseMostHeadroom(
+        buildInputs(policy, request, placements, survival),
+        endpoints,
+        random,
+      );
     default:
       return assertNever(policy);
   }
--- a/packages/decisions/placement/classBounds.ts
+++ b/packages/decisions/placement/classBounds.ts
@@ -2,12 +2,12 @@
   CRITICAL_OVERFLOW_FACTOR,
   CRITICAL_RESERVE_SHARE,
   MAX_ACCEPTED_OVERFLOW,
-  RESERVE_FROM_LIMIT,
+  MIN_LIMIT_FOR_RESERVE,
 } from './constants.js';
 import type { ClassTargets, Importance } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-const isReserveOpen = (importance: Importance): boolean => {
+const hasReserveAccess = (importance: Importance): boolean => {
   switch (importance) {
     case 'critical':
       return true;
@@ -20,38 +20,39 @@
 };
 
 /**
- * Computes the sequences that a class may have running at a limit; the rest is kept for critical
+ * Computes the concurrency limit for a class; the difference to `limit` is reserved for critical
  * classes.
  *
- * @param limit - sequences allowed for all classes together
+ * @param limit - maximum number of running sequences of all classes
  * @param targets - class of the request
- * @returns the class's limit, at least 1 when `limit` is
+ * @returns limit that applies to requests of the class; at least 1 if `limit` is
  */
 export const computeClassLimit = (limit: number, targets: ClassTargets): number => {
-  if (limit < RESERVE_FROM_LIMIT || isReserveOpen(targets.importance)) return limit;
+  if (limit < MIN_LIMIT_FOR_RESERVE || hasReserveAccess(targets.importance)) return limit;
   return limit - Math.max(1, Math.floor(limit * CRITICAL_RESERVE_SHARE));
 };
 
 /**
- * Computes the memory that a class may plan with; the rest is kept for critical classes.
+ * Computes the memory available to a class; the rest is reserved for critical classes.
  *
  * @param total - memory of the engine in tokens
  * @param targets - class of the request
- * @returns tokens that may be used
+ * @returns available memory in tokens
  */
 export const computeClassMemory = (total: number, targets: ClassTargets): number =>
-  isReserveOpen(targets.importance) ? total : total * (1 - CRITICAL_RESERVE_SHARE);
+  hasReserveAccess(targets.importance) ? total : total * (1 - CRITICAL_RESERVE_SHARE);
 
 /**
- * Computes the probability of a memory overflow that a class accepts. Critical answers accept more:
- * the preemptions that follow hit others, and they cannot wait for memory.
+ * Computes the highest accepted probability of a memory overflow for a class. Critical classes
+ * accept a higher one: they cannot wait for memory, and the resulting preemptions affect other
+ * classes.
  *
  * @param targets - class of the request
- * @param base - probability accepted for other classes
- * @returns probability in [0, 1]; the operator's own value when the class has one
+ * @param base - probability accepted for classes that are not critical
+ * @returns probability in [0, 1]; the operator's value if the class has one
  */
 export const computeAcceptedOverflow = (targets: ClassTargets, base: number): number => {
   if (targets.overflowProbability !== undefined) return targets.overflowProbability;
-  if (!isReserveOpen(targets.importance)) return base;
+  if (!hasReserveAccess(targets.importance)) return base;
   return Math.min(MAX_ACCEPTED_OVERFLOW, base * CRITICAL_OVERFLOW_FACTOR);
 };
--- a/packages/decisions/placement/crowded/engine.ts
+++ b/packages/decisions/placement/crowded/engine.ts
@@ -1,20 +1,20 @@
 import type { Millis } from '../../../core/clock.js';
 import type { RequestId } from '../../../core/ids.js';
 
-/** Time between tokens with one sequence in the batch, and its growth per further sequence. */
+/** Base time between tokens, and its increase per sequence in the batch. */
 const BASE_GAP_MS = 20;
 const GAP_PER_SEQUENCE_MS = 0.4;
-/** Prompt tokens per millisecond; decoding slows down while prompts are read. */
+/** Prompt tokens per millisecond, and the factor on token gaps while prompts are prefilled. */
 const PREFILL_TOKENS_PER_MS = 10;
 const PREFILL_SLOW_DOWN = 1.3;
-/** Free share of memory that the engine asks for before it starts a sequence. */
+/** Share of memory that must stay free when the engine starts a sequence. */
 const START_MEMORY_SHARE = 0.01;
 
-/** A sequence in the fluid model; `generated` grows continuously. */
+/** A sequence in the fluid model; `generated` grows continuously instead of by whole tokens. */
 export interface EngineSequence {
   readonly requestId: RequestId;
   readonly className: string;
-  /** Larger numbers go first and are preempted last. */
+  /** Sequences with larger numbers start first and are preempted last. */
   readonly priority: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
@@ -26,8 +26,8 @@
   stallMs: Millis;
 }
 
-/** One engine of the fluid model: batch steps, limited memory, preemption by recomputation. */
-export interface ModelEngine {
+/** Fluid model of an engine with batched steps, limited memory and preemption by recomputation. */
+export interface FluidEngine {
   readonly name: string;
   readonly memoryTokens: number;
   sequences: EngineSequence[];
@@ -37,14 +37,14 @@
   gapMs: Millis;
 }
 
-/** What happened in one step. */
+/** Sequences that finished or produced their first token in one step. */
 export interface EngineStep {
   readonly finished: readonly EngineSequence[];
   readonly firstTokens: readonly EngineSequence[];
 }
 
 /** Creates an idle engine. */
-export const createModelEngine = (name: string, memoryTokens: number): ModelEngine => ({
+export const createFluidEngine = (name: string, memoryTokens: number): FluidEngine => ({
   name,
   memoryTokens,
   sequences: [],
@@ -55,20 +55,20 @@
 
 const getSize = (sequence: EngineSequence): number => sequence.promptTokens + sequence.generated;
 
-const listRunning = (engine: ModelEngine): EngineSequence[] =>
+const listRunning = (engine: FluidEngine): EngineSequence[] =>
   engine.sequences.filter((sequence) => sequence.phase !== 'waiting');
 
-/** Counts the tokens of memory in use. */
-export const countMemory = (engine: ModelEngine): number =>
+/** Returns the memory in use, in tokens. */
+export const countMemory = (engine: FluidEngine): number =>
   listRunning(engine).reduce((sum, sequence) => sum + getSize(sequence), 0);
 
-const compareOrder = (left: EngineSequence, right: EngineSequence): number =>
+const comparePriority = (left: EngineSequence, right: EngineSequence): number =>
   right.priority - left.priority || left.arrivedAt - right.arrivedAt;
 
-const startWaiting = (engine: ModelEngine): void => {
+const startWaitingSequences = (engine: FluidEngine): void => {
   let used = countMemory(engine);
   const waiting = engine.sequences.filter((sequence) => sequence.phase === 'waiting');
-  for (const sequence of waiting.sort(compareOrder)) {
+  for (const sequence of waiting.sort(comparePriority)) {
     const size = getSize(sequence);
     if (used > 0 && used + size > engine.memoryTokens * (1 - START_MEMORY_SHARE)) return;
     sequence.phase = 'prefill';
@@ -77,10 +77,10 @@
   }
 };
 
-const runPrefill = (engine: ModelEngine, durationMs: Millis): boolean => {
+const runPrefill = (engine: FluidEngine, durationMs: Millis): boolean => {
   let budget = durationMs * PREFILL_TOKENS_PER_MS;
   const prefilling = engine.sequences.filter((sequence) => sequence.phase === 'prefill');
-  for (const sequence of prefilling.sort(compareOrder)) {
+  for (const sequence of prefilling.sort(comparePriority)) {
     const done = Math.min(budget, sequence.prefillLeft);
     sequence.prefillLeft -= done;
     budget -= done;
@@ -89,9 +89,9 @@
   return prefilling.length > 0;
 };
 
-/** Preempts the sequence of the lowest priority that came last, until memory suffices. */
-const clearOverflow = (engine: ModelEngine): void => {
-  const running = listRunning(engine).sort(compareOrder);
+/** Preempts sequences by lowest priority, latest arrival first, until the rest fits in memory. */
+const resolveOverflow = (engine: FluidEngine): void => {
+  const running = listRunning(engine).sort(comparePriority);
   let used = running.reduce((sum, sequence) => sum + getSize(sequence), 0);
   while (used > engine.memoryTokens && running.length > 1) {
     const victim = running.pop();
@@ -104,14 +104,14 @@
 };
 
 /**
- * Moves an engine forward.
+ * Advances an engine by one step.
  *
  * @param engine - updated in place
  * @param durationMs - length of the step
- * @returns sequences that finished or showed their first token
+ * @returns sequences that finished or produced their first token
  */
-export const runEngine = (engine: ModelEngine, durationMs: Millis): EngineStep => {
-  startWaiting(engine);
+export const runEngine = (engine: FluidEngine, durationMs: Millis): EngineStep => {
+  startWaitingSequences(engine);
   const isPrefilling = runPrefill(engine, durationMs);
   const decoding = engine.sequences.filter((sequence) => sequence.phase === 'decoding');
   const slowDown = isPrefilling ? PREFILL_SLOW_DOWN : 1;
@@ -129,6 +129,6 @@
   }
   const finished = decoding.filter((sequence) => sequence.generated >= sequence.outputTokens);
   engine.sequences = engine.sequences.filter((sequence) => !finished.includes(sequence));
-  clearOverflow(engine);
+  resolveOverflow(engine);
   return { finished, firstTokens };
 };
--- a/packages/decisions/survival/survivalTable.ts
+++ b/packages/decisions/survival/survivalTable.ts
@@ -1,6 +1,6 @@
 import {
-  CLASS_MEMORY_OBSERVATIONS,
-  KEY_MEMORY_OBSERVATIONS,
+  CLASS_DECAY_OBSERVATIONS,
+  KEY_DECAY_OBSERVATIONS,
   MAX_TRACKED_CLASSES,
   MAX_TRACKED_KEYS,
   SHRINKAGE_TO_CLASS,
@@ -11,57 +11,70 @@
   computeUnknownSurvival,
   createHazardCounts,
   estimateCurve,
-  estimateRemainingOf,
+  estimateRemainingTokens,
   PRIOR_CURVE,
 } from './hazard.js';
 import type { HazardCounts, ObservedEnd } from './hazard.js';
 import type { HazardCurve, SurvivalKey, SurvivalView } from './types.js';
 
-/** Bounds of a table. */
+/** Size bounds of a table. */
 export interface SurvivalOptions {
   readonly maxKeys?: number;
   readonly maxClasses?: number;
 }
 
 /**
- * Streaming estimates of output lengths. The table holds thousands of keys and learns from every
- * generation, so it is updated in place; it has one owner.
+ * Online estimates of output lengths. The table is mutable, since it holds thousands of keys and is
+ * updated after every generation; it must have a single owner.
  */
 export interface SurvivalTable extends SurvivalView {
   /** Records the length of a finished generation. */
   readonly observeFinished: (key: SurvivalKey, tokens: number) => void;
-  /** Records that a generation was cancelled, or cut, after `tokens` tokens. */
+  /** Records that a generation was cancelled or cut off after `tokens` tokens. */
   readonly observeCensored: (key: SurvivalKey, tokens: number) => void;
   readonly countKeys: () => number;
 }
 
-/** Counts with the curve computed from them and from a parent's curve. */
-interface Node {
+/** Observation counts, and the cached curve estimated from them and a parent's curve. */
+interface EstimateNode {
   readonly counts: HazardCounts;
   curve: HazardCurve | undefined;
   parent: HazardCurve;
 }
 
-const createNode = (): Node => ({
+const createNode = (): EstimateNode => ({
   counts: createHazardCounts(),
   curve: undefined,
   parent: PRIOR_CURVE,
 });
 
-const getNodeCurve = (node: Node, parent: HazardCurve, strength: number): HazardCurve => {
+const getNodeCurve = (node: EstimateNode, parent: HazardCurve, strength: number): HazardCurve => {
   if (node.curve !== undefined && node.parent === parent) return node.curve;
   node.parent = parent;
   node.curve = estimateCurve(node.counts, parent, strength);
   return node.curve;
 };
 
-const updateNode = (node: Node, tokens: number, end: ObservedEnd, memory: number): void => {
-  applyObservation(node.counts, tokens, end, 1 - 1 / memory);
+const updateNode = (
+  node: EstimateNode,
+  tokens: number,
+  end: ObservedEnd,
+  decayObservations: number,
+): void => {
+  applyObservation(node.counts, tokens, end, 1 - 1 / decayObservations);
   node.curve = undefined;
 };
 
-/** Takes a node out of the map and puts it last, so that the first entry is the least recent. */
-const selectNode = (nodes: Map<string, Node>, name: string, bound: number): Node => {
+/**
+ * Returns the node of a name, created if needed, and moves it to the end of the map. The first
+ * entry is therefore the least recently observed one, which is evicted when the map exceeds its
+ * bound.
+ */
+const selectNode = (
+  nodes: Map<string, EstimateNode>,
+  name: string,
+  bound: number,
+): EstimateNode => {
   const node = nodes.get(name) ?? createNode();
   nodes.delete(name);
   nodes.set(name, node);
@@ -72,22 +85,26 @@
   return node;
 };
 
-/** Joins with a control character that names cannot contain; JSON took most of a decision's time. */
+/**
+ * Joins the parts with a control character that names cannot contain. Formatting keys as JSON took
+ * most of the time of a placement decision.
+ */
 const formatKey = (key: SurvivalKey): string =>
   `${key.className}\u0000${key.customer}\u0000${key.version}`;
 
 /**
- * Creates a table of length estimates. A key shrinks to its class, and a class to the prior.
+ * Creates a table of length estimates. The estimate of a key is shrunk towards that of its class,
+ * and the estimate of a class towards the prior.
  *
- * @param options - bounds on the tracked keys and classes
+ * @param options - bounds on the number of tracked keys and classes
  * @returns an empty table
  */
 export const createSurvivalTable = (options: SurvivalOptions = {}): SurvivalTable => {
   const maxKeys = options.maxKeys ?? MAX_TRACKED_KEYS;
   const maxClasses = options.maxClasses ?? MAX_TRACKED_CLASSES;
-  const keys = new Map<string, Node>();
-  const classes = new Map<string, Node>();
-  const all = createNode();
+  const keys = new Map<string, EstimateNode>();
+  const classes = new Map<string, EstimateNode>();
+  const overall = createNode();
   const unknownSurvival = new Map<number, number>();
 
   const getCurve = (key: SurvivalKey): HazardCurve => {
@@ -100,9 +117,9 @@
 
   const observe = (key: SurvivalKey, tokens: number, end: ObservedEnd): void => {
     const classNode = selectNode(classes, key.className, maxClasses);
-    updateNode(classNode, tokens, end, CLASS_MEMORY_OBSERVATIONS);
-    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, end, KEY_MEMORY_OBSERVATIONS);
-    updateNode(all, tokens, end, CLASS_MEMORY_OBSERVATIONS);
+    updateNode(classNode, tokens, end, CLASS_DECAY_OBSERVATIONS);
+    updateNode(selectNode(keys, formatKey(key), maxKeys), tokens, end, KEY_DECAY_OBSERVATIONS);
+    updateNode(overall, tokens, end, CLASS_DECAY_OBSERVATIONS);
     unknownSurvival.clear();
   };
 
@@ -115,11 +132,11 @@
     observeCensored: (key, tokens) => {
       observe(key, tokens, 'censored');
     },
-    estimateRemaining: (key, generated) => estimateRemainingOf(getCurve(key), generated),
+    estimateRemaining: (key, generated) => estimateRemainingTokens(getCurve(key), generated),
     estimateUnknownSurvival: (tokens) => {
       const known = unknownSurvival.get(tokens);
       if (known !== undefined) return known;
-      const curve = getNodeCurve(all, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
+      const curve = getNodeCurve(overall, PRIOR_CURVE, SHRINKAGE_TO_PRIOR);
       const survival = computeUnknownSurvival(curve, tokens);
       unknownSurvival.set(tokens, survival);
       return survival;
