--- a/packages/bench/placement/placementBench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -14,8 +14,8 @@
 import type { RandomSource } from '../../core/random.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
-import { createOwnTable } from '../../decisions/placement/own.js';
-import type { OwnTable } from '../../decisions/placement/own.js';
+import { createPlacementTable } from '../../decisions/placement/own.js';
+import type { PlacementTable } from '../../decisions/placement/own.js';
 import type {
   EndpointView,
   PlacementPolicy,
@@ -50,7 +50,7 @@
   }
 };
 
-const trackOwn = (own: OwnTable, endpoints: readonly EndpointView[]): void => {
+const trackOwn = (own: PlacementTable, endpoints: readonly EndpointView[]): void => {
   for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
     const view = endpoints[index % endpoints.length] as EndpointView;
     own.trackPlacement({
@@ -93,7 +93,7 @@
 const measurePolicy = (
   policy: PlacementPolicy,
   endpoints: readonly EndpointView[],
-  own: OwnTable,
+  own: PlacementTable,
   room: Room,
 ): PlacementRow => {
   const random = createRandomSource(5);
@@ -121,7 +121,7 @@
 const measureSize = (size: number): readonly PlacementRow[] => {
   const random = createRandomSource(3);
   const endpoints = Array.from({ length: size }, (_, index) => buildEndpoint(index, random, WORLD));
-  const own = createOwnTable(survival);
+  const own = createPlacementTable(survival);
   trackOwn(own, endpoints);
   const full = endpoints.map((view) => ({ ...view, limit: 1 }));
   return POLICIES.flatMap((policy) => [
--- a/packages/capacity/measures/placement.ts
+++ b/packages/capacity/measures/placement.ts
@@ -5,7 +5,7 @@
 import type { RandomSource } from '../../core/random.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
-import { createOwnTable } from '../../decisions/placement/own.js';
+import { createPlacementTable } from '../../decisions/placement/own.js';
 import type { PlacementRequest } from '../../decisions/placement/types.js';
 import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 
@@ -36,7 +36,7 @@
   const views = Array.from({ length: endpoints }, (_, index) =>
     buildEndpoint(index, random, WORLD),
   );
-  const own = createOwnTable(survival);
+  const own = createPlacementTable(survival);
   for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
     own.trackPlacement({
       requestId: `own-${index.toString()}`,
--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { choosePlacement } from './choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from './constants.js';
-import { createOwnTable } from './own.js';
+import { createPlacementTable } from './own.js';
 import type {
   EndpointPhase,
   EndpointView,
@@ -64,7 +64,7 @@
   endpoints: readonly EndpointView[],
   request = buildRequest(),
   policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
-  placements = createOwnTable(survival),
+  placements = createPlacementTable(survival),
 ) => choosePlacement(policy, request, endpoints, placements, survival, random);
 
 const policies: readonly PlacementPolicy[] = [
@@ -93,26 +93,26 @@
 
   // Guards against exceeding the limit between two load reports.
   test(`${policy.kind} counts its placements since the last report towards the limit`, (t) => {
-    const placements = createOwnTable(survival);
+    const placements = createPlacementTable(survival);
     const endpoints = [buildEndpoint('cold', { limit: 2, running: 1 })];
     placements.trackPlacement(buildPlacement('a', 'cold'));
     t.deepEqual(choose(endpoints, buildRequest(), policy, placements), {
       kind: 'wait',
       reason: 'at-limit',
     });
-    placements.settleReport('cold', 2_000);
+    placements.applyLoadReport('cold', 2_000);
     t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'place');
   });
 
   // Guards against repeated sends to a full endpoint whose last report still shows free slots.
   test(`${policy.kind} avoids an endpoint that refused for lack of capacity until its next report`, (t) => {
-    const placements = createOwnTable(survival);
+    const placements = createPlacementTable(survival);
     const endpoints = [buildEndpoint('full', { limit: 2, running: 0 })];
     placements.recordRefusal('full', 2, 2_000);
     t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'wait');
-    placements.settleReport('full', 1_900);
+    placements.applyLoadReport('full', 1_900);
     t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'wait');
-    placements.settleReport('full', 2_100);
+    placements.applyLoadReport('full', 2_100);
     t.is(choose(endpoints, buildRequest(), policy, placements).kind, 'place');
   });
 }
@@ -177,7 +177,7 @@
 
 // Guards against a round-robin baseline that skips or prefers endpoints.
 test('round-robin cycles through all endpoints', (t) => {
-  const placements = createOwnTable(survival);
+  const placements = createPlacementTable(survival);
   const endpoints = ['a', 'b', 'c'].map((name) => buildEndpoint(name));
   const chosen = [1, 2, 3, 4, 5, 6].map((number) => {
     const decision = choose(endpoints, buildRequest(), { kind: 'round-robin' }, placements);
@@ -228,16 +228,16 @@
 
 // Guards against totals per endpoint that drift from the tracked placements.
 test('the totals of an endpoint return to zero after all placements ended and were reported', (t) => {
-  const placements = createOwnTable(survival);
+  const placements = createPlacementTable(survival);
   for (let number = 0; number < 50; number += 1) {
     placements.trackPlacement(buildPlacement(number.toString(), 'a'));
     placements.updateProgress(number.toString(), number * 20);
   }
-  placements.settleReport('a', 2_000);
+  placements.applyLoadReport('a', 2_000);
   for (let number = 0; number < 50; number += 1)
     placements.releasePlacement(number.toString(), 3_000);
   t.is(placements.getLoad('a')?.endedCount, 50);
-  placements.settleReport('a', 4_000);
+  placements.applyLoadReport('a', 4_000);
   const load = placements.getLoad('a');
   t.deepEqual(
     [load?.includedCount, load?.includedTokens, load?.newCount, load?.newTokens],
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -17,8 +17,8 @@
 import { createSurvivalTable } from '../../survival/survivalTable.js';
 import type { SurvivalTable } from '../../survival/survivalTable.js';
 import { choosePlacement } from '../choosePlacement.js';
-import { createOwnTable } from '../own.js';
-import type { OwnTable } from '../own.js';
+import { createPlacementTable } from '../own.js';
+import type { PlacementTable } from '../own.js';
 import type { EndpointView, PlacementPolicy } from '../types.js';
 
 export const STEP_MS = 20;
@@ -57,7 +57,7 @@
 /** A simulated entry daemon. */
 interface ClusterEntry {
   readonly survival: SurvivalTable;
-  readonly placements: OwnTable;
+  readonly placements: PlacementTable;
   queue: QueueState;
 }
 
@@ -119,7 +119,7 @@
   const survival = createSurvivalTable();
   return {
     survival,
-    placements: createOwnTable(survival),
+    placements: createPlacementTable(survival),
     queue: createQueueState(QUEUE_SETTINGS),
   };
 };
@@ -345,7 +345,7 @@
   cluster.endpoints.forEach((endpoint, index) => {
     endpoint.view = oldest.views[index] as EndpointView;
     for (const entry of cluster.entries)
-      entry.placements.settleReport(endpoint.engine.name, oldest.takenAt);
+      entry.placements.applyLoadReport(endpoint.engine.name, oldest.takenAt);
   });
 };
 
--- a/packages/decisions/placement/own.ts
+++ b/packages/decisions/placement/own.ts
@@ -31,7 +31,7 @@
  * daemon tracks thousands of placements and updates them with every token; it must have a single
  * owner.
  */
-export interface OwnTable extends PlacementTableView {
+export interface PlacementTable extends PlacementTableView {
   readonly trackPlacement: (placement: LocalPlacement) => void;
   /** Records the total number of tokens generated for a request; ignores unknown requests. */
   readonly updateProgress: (requestId: RequestId, generated: number) => void;
@@ -44,7 +44,7 @@
    */
   readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
   /** Applies a load report, sampled at `takenAt` on this daemon's clock, to the totals. */
-  readonly settleReport: (endpoint: EndpointId, takenAt: Millis) => void;
+  readonly applyLoadReport: (endpoint: EndpointId, takenAt: Millis) => void;
   /** Removes an endpoint and its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
   readonly listPlacements: (endpoint: EndpointId) => readonly LocalPlacement[];
@@ -99,7 +99,7 @@
  * @param survival - output length estimates for the memory forecasts
  * @returns an empty table
  */
-export const createOwnTable = (survival: SurvivalView): OwnTable => {
+export const createPlacementTable = (survival: SurvivalView): PlacementTable => {
   const entries = new Map<EndpointId, EndpointEntry>();
   const endpointByRequest = new Map<RequestId, EndpointId>();
   let placementCount = 0;
@@ -168,7 +168,7 @@
       entry.load.requestsAtRefusal = count;
       entry.refusedAt = now;
     },
-    settleReport: (endpoint, takenAt) => {
+    applyLoadReport: (endpoint, takenAt) => {
       const entry = entries.get(endpoint);
       if (entry === undefined) return;
       for (const tracked of entry.placements.values()) {
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -286,7 +286,7 @@
     case 'configuration-updated':
       return handleConfiguration(context);
     case 'capacity-changed':
-      inputs.own.settleReport(event.endpoint, event.reportedAt);
+      inputs.own.applyLoadReport(event.endpoint, event.reportedAt);
       return drainQueue(context);
     case 'endpoint-lost':
       return handleEndpointLost(event, context);
