--- a/packages/decisions/moves/evidence.ts
+++ b/packages/decisions/moves/evidence.ts
@@ -4,16 +4,16 @@
   EARLY_FAULT_WEIGHT,
   ODDS_RATIOS,
   RECENT_DECAY,
-  RECENT_OLD_REQUESTS,
-  STRATUM_MAX_LOOKS,
-  STRATUM_OLD_REQUESTS,
+  RECENT_MIN_OLD_ANSWERS,
+  STRATUM_MAX_EVALUATIONS,
+  STRATUM_MIN_OLD_ANSWERS,
 } from './constants.js';
 import {
-  CLEAR_LOG_RATIO,
-  computeLogRatio,
-  computePastFactor,
-  computePresentFactor,
-  computeUpperRate,
+  SIGNIFICANT_LOG_EVIDENCE,
+  computeLogEvidence,
+  computeHistoricalLogRatio,
+  computeConcurrentLogRatio,
+  computeRateUpperBound,
   initSequentialTest,
   updateSequentialTest,
 } from './sequentialTest.js';
@@ -36,15 +36,15 @@
 
 const METRICS: readonly FaultMetric[] = ['failure', 'slow'];
 
-const EMPTY: Tallies = {
+const EMPTY_TALLIES: Tallies = {
   failure: { answers: 0, faults: 0 },
   slow: { answers: 0, faults: 0 },
 };
 
-const EMPTY_SIDES: SideTallies = { old: EMPTY, new: EMPTY };
+const EMPTY_SIDE_TALLIES: SideTallies = { old: EMPTY_TALLIES, new: EMPTY_TALLIES };
 
 const initTests = (): Readonly<Record<FaultMetric, MetricTests>> => {
-  const tests = { present: initSequentialTest(), past: initSequentialTest() };
+  const tests = { concurrent: initSequentialTest(), historical: initSequentialTest() };
   return { failure: tests, slow: tests };
 };
 
@@ -55,11 +55,11 @@
  * @returns evidence without counts
  */
 export const initEvidence = (now: Millis): Evidence => ({
-  known: new Map(),
+  reported: new Map(),
   cells: new Map(),
   overall: initTests(),
-  lookedAt: now,
-  newReportAt: now,
+  evaluatedAt: now,
+  newVersionReportAt: now,
 });
 
 const addTally = (left: Tally, right: Tally): Tally => ({
@@ -77,17 +77,17 @@
   [side]: addTallies(sides[side], added),
 });
 
-const computeScaled = ({ answers, faults }: Tally, factor: number): Tally => ({
+const computeScaledTally = ({ answers, faults }: Tally, factor: number): Tally => ({
   answers: answers * factor,
   faults: faults * factor,
 });
 
 const computeScaledTallies = ({ failure, slow }: Tallies, factor: number): Tallies => ({
-  failure: computeScaled(failure, factor),
-  slow: computeScaled(slow, factor),
+  failure: computeScaledTally(failure, factor),
+  slow: computeScaledTally(slow, factor),
 });
 
-const toTallies = (newer: EvidenceCounts, older: EvidenceCounts): Tallies => {
+const computeIncrement = (newer: EvidenceCounts, older: EvidenceCounts): Tallies => {
   const successes = newer.successes - older.successes;
   const failures = newer.failures - older.failures;
   return {
@@ -106,11 +106,11 @@
 
 const createCell = (name: CellName): Cell => ({
   name,
-  total: EMPTY_SIDES,
-  stratum: EMPTY_SIDES,
-  looks: 0,
-  latest: EMPTY_SIDES,
-  recent: EMPTY_SIDES,
+  total: EMPTY_SIDE_TALLIES,
+  stratum: EMPTY_SIDE_TALLIES,
+  stratumEvaluations: 0,
+  latest: EMPTY_SIDE_TALLIES,
+  recent: EMPTY_SIDE_TALLIES,
   tests: initTests(),
 });
 
@@ -128,14 +128,14 @@
   const { className, route } = counts;
   const { endpoint, incarnation, dataCentre, version } = report;
   const key = JSON.stringify([endpoint, incarnation, version, className, route]);
-  const known = evidence.known.get(key);
+  const reported = evidence.reported.get(key);
   // The past of the old version belongs to another time; the new one has none before the move.
   const empty = { ...counts, successes: 0, failures: 0, slow: 0 };
-  const base = known?.base ?? (side === 'old' ? counts : empty);
-  const before = known?.newest ?? base;
+  const baseline = reported?.baseline ?? (side === 'old' ? counts : empty);
+  const before = reported?.newest ?? baseline;
   const newest = mergeCounts(before, counts);
-  evidence.known.set(key, { base, newest });
-  const added = toTallies(newest, before);
+  evidence.reported.set(key, { baseline, newest });
+  const added = computeIncrement(newest, before);
   if (added.failure.answers === 0 && added.slow.faults === 0) return;
   const cellKey = JSON.stringify([className, dataCentre, route]);
   const cell = evidence.cells.get(cellKey) ?? createCell({ className, dataCentre, route });
@@ -167,73 +167,76 @@
   const side = resolveSide(move, report.version);
   if (side === null) return evidence;
   for (const counts of report.counts) addCounts(evidence, report, side, counts);
-  return side === 'new' ? { ...evidence, newReportAt: now } : evidence;
+  return side === 'new' ? { ...evidence, newVersionReportAt: now } : evidence;
 };
 
 /** Largest rate of the old version that its past and present leave possible. */
 const computeTolerableRate = (cell: Cell, metric: FaultMetric): number => {
-  const past = computeUpperRate(cell.total.old[metric]) * DRIFT_FACTOR + DRIFT_MARGIN;
+  const historical = computeRateUpperBound(cell.total.old[metric]) * DRIFT_FACTOR + DRIFT_MARGIN;
   const recent = cell.recent.old[metric];
-  if (recent.answers < RECENT_OLD_REQUESTS) return Math.min(1, past);
-  return Math.min(1, Math.max(past, (2 * recent.faults) / recent.answers));
+  if (recent.answers < RECENT_MIN_OLD_ANSWERS) return Math.min(1, historical);
+  return Math.min(1, Math.max(historical, (2 * recent.faults) / recent.answers));
 };
 
 const isStratumReady = (cell: Cell): boolean =>
   cell.stratum.new.failure.answers > 0 &&
-  (cell.stratum.old.failure.answers >= STRATUM_OLD_REQUESTS || cell.looks >= STRATUM_MAX_LOOKS);
+  (cell.stratum.old.failure.answers >= STRATUM_MIN_OLD_ANSWERS ||
+    cell.stratumEvaluations >= STRATUM_MAX_EVALUATIONS);
 
-interface LookFactors {
-  readonly present: readonly number[];
-  readonly past: readonly number[];
+interface LogRatios {
+  readonly concurrent: readonly number[];
+  readonly historical: readonly number[];
 }
 
-const computeFactors = (cell: Cell, metric: FaultMetric): LookFactors => {
+const computeLogRatios = (cell: Cell, metric: FaultMetric): LogRatios => {
   const { stratum, latest } = cell;
   const isReady = isStratumReady(cell);
   const rate = computeTolerableRate(cell, metric);
   return {
-    present: ODDS_RATIOS.map((oddsRatio) =>
-      isReady ? computePresentFactor(stratum.new[metric], stratum.old[metric], oddsRatio) : 0,
+    concurrent: ODDS_RATIOS.map((oddsRatio) =>
+      isReady ? computeConcurrentLogRatio(stratum.new[metric], stratum.old[metric], oddsRatio) : 0,
+    ),
+    historical: ODDS_RATIOS.map((oddsRatio) =>
+      computeHistoricalLogRatio(latest.new[metric], rate, oddsRatio),
     ),
-    past: ODDS_RATIOS.map((oddsRatio) => computePastFactor(latest.new[metric], rate, oddsRatio)),
   };
 };
 
-const updateTests = (tests: MetricTests, factors: LookFactors, weight: number): MetricTests => ({
-  present: updateSequentialTest(tests.present, factors.present, weight),
-  past: updateSequentialTest(tests.past, factors.past, weight),
+const updateTests = (tests: MetricTests, logRatios: LogRatios, weight: number): MetricTests => ({
+  concurrent: updateSequentialTest(tests.concurrent, logRatios.concurrent, weight),
+  historical: updateSequentialTest(tests.historical, logRatios.historical, weight),
 });
 
-const addFactors = (left: LookFactors, right: LookFactors): LookFactors => ({
-  present: left.present.map((factor, index) => factor + (right.present[index] ?? 0)),
-  past: left.past.map((factor, index) => factor + (right.past[index] ?? 0)),
+const addLogRatios = (left: LogRatios, right: LogRatios): LogRatios => ({
+  concurrent: left.concurrent.map((factor, index) => factor + (right.concurrent[index] ?? 0)),
+  historical: left.historical.map((factor, index) => factor + (right.historical[index] ?? 0)),
 });
 
 const updateCell = (
   cell: Cell,
-  factors: Readonly<Record<FaultMetric, LookFactors>>,
+  logRatios: Readonly<Record<FaultMetric, LogRatios>>,
   weight: number,
 ): Cell => {
   const isClosed = isStratumReady(cell);
   return {
     ...cell,
-    stratum: isClosed ? EMPTY_SIDES : cell.stratum,
-    looks: isClosed ? 0 : cell.looks + 1,
-    latest: EMPTY_SIDES,
+    stratum: isClosed ? EMPTY_SIDE_TALLIES : cell.stratum,
+    stratumEvaluations: isClosed ? 0 : cell.stratumEvaluations + 1,
+    latest: EMPTY_SIDE_TALLIES,
     recent: {
       old: computeScaledTallies(cell.recent.old, RECENT_DECAY),
       new: computeScaledTallies(cell.recent.new, RECENT_DECAY),
     },
     tests: {
-      failure: updateTests(cell.tests.failure, factors.failure, weight),
-      slow: updateTests(cell.tests.slow, factors.slow, weight),
+      failure: updateTests(cell.tests.failure, logRatios.failure, weight),
+      slow: updateTests(cell.tests.slow, logRatios.slow, weight),
     },
   };
 };
 
-const NO_FACTORS: LookFactors = {
-  present: ODDS_RATIOS.map(() => 0),
-  past: ODDS_RATIOS.map(() => 0),
+const NO_LOG_RATIOS: LogRatios = {
+  concurrent: ODDS_RATIOS.map(() => 0),
+  historical: ODDS_RATIOS.map(() => 0),
 };
 
 /**
@@ -244,30 +247,30 @@
  * @param now - current instant
  * @returns the evidence after the look
  */
-export const observeEvidence = (evidence: Evidence, move: Move, now: Millis): Evidence => {
-  const elapsed = Math.max(0, now - evidence.lookedAt);
+export const compareVersions = (evidence: Evidence, move: Move, now: Millis): Evidence => {
+  const elapsed = Math.max(0, now - evidence.evaluatedAt);
   const weight = ((1 - EARLY_FAULT_WEIGHT) * elapsed) / (move.deadline - move.startedAt);
-  let sum = { failure: NO_FACTORS, slow: NO_FACTORS };
+  let sum = { failure: NO_LOG_RATIOS, slow: NO_LOG_RATIOS };
   for (const [key, cell] of evidence.cells) {
-    const factors = {
-      failure: computeFactors(cell, 'failure'),
-      slow: computeFactors(cell, 'slow'),
+    const logRatios = {
+      failure: computeLogRatios(cell, 'failure'),
+      slow: computeLogRatios(cell, 'slow'),
     };
     sum = {
-      failure: addFactors(sum.failure, factors.failure),
-      slow: addFactors(sum.slow, factors.slow),
+      failure: addLogRatios(sum.failure, logRatios.failure),
+      slow: addLogRatios(sum.slow, logRatios.slow),
     };
-    evidence.cells.set(key, updateCell(cell, factors, weight));
+    evidence.cells.set(key, updateCell(cell, logRatios, weight));
   }
   const overall = {
     failure: updateTests(evidence.overall.failure, sum.failure, weight),
     slow: updateTests(evidence.overall.slow, sum.slow, weight),
   };
-  return { ...evidence, overall, lookedAt: now };
+  return { ...evidence, overall, evaluatedAt: now };
 };
 
-const computeDoubt = (tests: MetricTests): number =>
-  Math.max(computeLogRatio(tests.present), computeLogRatio(tests.past));
+const computeMaxLogEvidence = (tests: MetricTests): number =>
+  Math.max(computeLogEvidence(tests.concurrent), computeLogEvidence(tests.historical));
 
 /**
  * Finds a fault of the new version that is clear at the stated false-alarm rate.
@@ -275,12 +278,14 @@
  * @param evidence - evidence after its newest look
  * @returns the fault, or null
  */
-export const findFault = (evidence: Evidence): FaultFinding | null => {
+export const findSignificantFault = (evidence: Evidence): FaultFinding | null => {
   for (const metric of METRICS) {
     for (const cell of evidence.cells.values()) {
-      if (computeDoubt(cell.tests[metric]) >= CLEAR_LOG_RATIO) return { metric, cell: cell.name };
+      if (computeMaxLogEvidence(cell.tests[metric]) >= SIGNIFICANT_LOG_EVIDENCE)
+        return { metric, cell: cell.name };
     }
-    if (computeDoubt(evidence.overall[metric]) >= CLEAR_LOG_RATIO) return { metric, cell: null };
+    if (computeMaxLogEvidence(evidence.overall[metric]) >= SIGNIFICANT_LOG_EVIDENCE)
+      return { metric, cell: null };
   }
   return null;
 };
@@ -292,10 +297,10 @@
   readonly recentOld: number;
   readonly recentNew: number;
   /** Largest evidence against the new version, as a logarithm. */
-  readonly doubt: number;
+  readonly logEvidence: number;
 }
 
-const NO_ROUTE_EVIDENCE: RouteEvidence = { answers: 0, recentOld: 0, recentNew: 0, doubt: 0 };
+const NO_ROUTE_EVIDENCE: RouteEvidence = { answers: 0, recentOld: 0, recentNew: 0, logEvidence: 0 };
 
 /**
  * Collects the evidence by route.
@@ -303,7 +308,7 @@
  * @param evidence - evidence after its newest look
  * @returns one entry for each route on which a version answered
  */
-export const collectRoutes = (evidence: Evidence): ReadonlyMap<string, RouteEvidence> => {
+export const collectRouteEvidence = (evidence: Evidence): ReadonlyMap<string, RouteEvidence> => {
   const routes = new Map<string, RouteEvidence>();
   for (const { name, total, recent, tests } of evidence.cells.values()) {
     const route = routes.get(name.route) ?? NO_ROUTE_EVIDENCE;
@@ -311,7 +316,11 @@
       answers: route.answers + total.new.failure.answers,
       recentOld: route.recentOld + recent.old.failure.answers,
       recentNew: route.recentNew + recent.new.failure.answers,
-      doubt: Math.max(route.doubt, computeDoubt(tests.failure), computeDoubt(tests.slow)),
+      logEvidence: Math.max(
+        route.logEvidence,
+        computeMaxLogEvidence(tests.failure),
+        computeMaxLogEvidence(tests.slow),
+      ),
     });
   }
   return routes;
--- a/packages/decisions/moves/move.test.ts
+++ b/packages/decisions/moves/move.test.ts
@@ -4,11 +4,11 @@
 import { buildReportsProperty } from './moveProperty.fixture.js';
 import { MOVE } from './moveSimulation.fixture.js';
 import {
-  CLEAR_LOG_RATIO,
-  computeLogRatio,
-  computePastFactor,
-  computePresentFactor,
-  computeUpperRate,
+  SIGNIFICANT_LOG_EVIDENCE,
+  computeLogEvidence,
+  computeHistoricalLogRatio,
+  computeConcurrentLogRatio,
+  computeRateUpperBound,
   initSequentialTest,
   updateSequentialTest,
 } from './sequentialTest.js';
@@ -32,44 +32,44 @@
     fc.integer({ min: 1, max: 30 }),
     fc.nat(60),
     fc.constantFrom(3, 10, 50),
-    (fresh, old, wanted, oddsRatio) => {
-      const faults = Math.min(wanted, fresh + old);
+    (newTally, old, wanted, oddsRatio) => {
+      const faults = Math.min(wanted, newTally + old);
       let mean = 0;
-      for (let count = Math.max(0, faults - old); count <= Math.min(faults, fresh); count += 1) {
-        const ways = countCombinations(fresh, count) * countCombinations(old, faults - count);
-        const factor = computePresentFactor(
-          { answers: fresh, faults: count },
+      for (let count = Math.max(0, faults - old); count <= Math.min(faults, newTally); count += 1) {
+        const ways = countCombinations(newTally, count) * countCombinations(old, faults - count);
+        const factor = computeConcurrentLogRatio(
+          { answers: newTally, faults: count },
           { answers: old, faults: faults - count },
           oddsRatio,
         );
-        mean += (ways / countCombinations(fresh + old, faults)) * Math.exp(factor);
+        mean += (ways / countCombinations(newTally + old, faults)) * Math.exp(factor);
       }
       return Math.abs(mean - 1) < 1e-9;
     },
   );
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   const rate = 0.07;
-  const hit = Math.exp(computePastFactor({ answers: 1, faults: 1 }, rate, 10));
-  const miss = Math.exp(computePastFactor({ answers: 1, faults: 0 }, rate, 10));
+  const hit = Math.exp(computeHistoricalLogRatio({ answers: 1, faults: 1 }, rate, 10));
+  const miss = Math.exp(computeHistoricalLogRatio({ answers: 1, faults: 0 }, rate, 10));
   t.true(Math.abs(rate * hit + (1 - rate) * miss - 1) < 1e-9);
 });
 
 // Guards against numbers that overflow when a whole fleet fails at once.
 test('large counts give finite evidence in the right direction', (t) => {
-  const worse = computePresentFactor(
+  const worse = computeConcurrentLogRatio(
     { answers: 90_000, faults: 60_000 },
     { answers: 90_000, faults: 900 },
     50,
   );
-  const same = computePresentFactor(
+  const same = computeConcurrentLogRatio(
     { answers: 90_000, faults: 60_000 },
     { answers: 90_000, faults: 60_000 },
     50,
   );
   t.true(Number.isFinite(worse) && worse > 1_000);
   t.true(Number.isFinite(same) && same < 0);
-  t.true(computeUpperRate({ answers: 1_000, faults: 10 }) < 0.05);
-  t.is(computeUpperRate({ answers: 0, faults: 0 }), 1);
+  t.true(computeRateUpperBound({ answers: 1_000, faults: 10 }) < 0.05);
+  t.is(computeRateUpperBound({ answers: 0, faults: 0 }), 1);
 });
 
 // Guards against false alarms by continuous looking: 20,000 looks at two equal versions.
@@ -80,16 +80,16 @@
     faults: Array.from({ length: answers }, () => random.next()).filter((draw) => draw < 0.05)
       .length,
   });
-  let sequential = initSequentialTest();
+  let sequentialTest = initSequentialTest();
   let largest = 0;
   for (let look = 0; look < 20_000; look += 1) {
-    const fresh = sampleTally(3);
+    const newTally = sampleTally(3);
     const old = sampleTally(12);
-    const factors = [3, 10, 50].map((ratio) => computePresentFactor(fresh, old, ratio));
-    sequential = updateSequentialTest(sequential, factors, 0.5 / 20_000);
-    largest = Math.max(largest, computeLogRatio(sequential));
+    const factors = [3, 10, 50].map((ratio) => computeConcurrentLogRatio(newTally, old, ratio));
+    sequentialTest = updateSequentialTest(sequentialTest, factors, 0.5 / 20_000);
+    largest = Math.max(largest, computeLogEvidence(sequentialTest));
   }
-  t.true(largest < CLEAR_LOG_RATIO);
+  t.true(largest < SIGNIFICANT_LOG_EVIDENCE);
 });
 
 // Guards against evidence that is counted twice, taken back, or lost with its incarnation.
--- a/packages/decisions/moves/move.ts
+++ b/packages/decisions/moves/move.ts
@@ -1,13 +1,13 @@
 import {
-  APPEND_AGAIN_MS,
+  APPEND_RETRY_MS,
   CANARY_SHARE,
-  LAST_SHARE_OF_TIME,
-  MOVED_OLD_SHARE,
-  OPERATOR_SHARE_OF_TIME,
-  SOAK_MS,
-  SOAK_SHARE_OF_TIME,
+  FINAL_TIME_FRACTION,
+  MOVED_MAX_OLD_SHARE,
+  ESCALATION_TIME_FRACTION,
+  MIN_SOAK_MS,
+  SOAK_TIME_FRACTION,
 } from './constants.js';
-import { addEvidence, collectRoutes, initEvidence, observeEvidence } from './evidence.js';
+import { addEvidence, collectRouteEvidence, initEvidence, compareVersions } from './evidence.js';
 import { decideShare } from './share.js';
 import type {
   Evidence,
@@ -27,7 +27,7 @@
 type MoveStep = Step<MoveState, MoveEffect>;
 
 /** State while a move is watched. */
-type WatchedState = MoveState & { readonly move: Move };
+type StateWithMove = MoveState & { readonly move: Move };
 
 const NO_ROUTES: ReadonlyMap<string, number> = new Map();
 
@@ -42,7 +42,7 @@
   evidence: initEvidence(0),
   routes: NO_ROUTES,
   fullSince: null,
-  askedAt: 0,
+  terminalAppendAt: 0,
   operator: 'not-asked',
 });
 
@@ -69,7 +69,7 @@
   }
 };
 
-const isWatched = (state: MoveState): state is WatchedState => state.move !== null;
+const hasMove = (state: MoveState): state is StateWithMove => state.move !== null;
 
 const startMove = (state: MoveState, move: Move, now: Millis): MoveStep => {
   if (state.move?.name === move.name) return toStep(state);
@@ -77,100 +77,103 @@
 };
 
 /** The first terminal record in log order is final; the log delivers records in order. */
-const finishMove = (state: MoveState, name: string, outcome: MoveOutcome): MoveStep => {
+const applyTerminalRecord = (state: MoveState, name: string, outcome: MoveOutcome): MoveStep => {
   const isFinal = state.phase === 'done' || state.phase === 'taken-back';
   if (state.move?.name !== name || isFinal) return toStep(state);
   const isOverruled = state.phase === 'stopping' && outcome === 'done';
-  const calls: readonly MoveEffect[] = isOverruled
+  const escalations: readonly MoveEffect[] = isOverruled
     ? [{ kind: 'needs-operator', name, reason: 'faults-after-done' }]
     : [];
   const ended = { ...state, phase: outcome, evidence: initEvidence(0), routes: NO_ROUTES };
-  return toStep<MoveState, MoveEffect>(ended, { kind: 'ended', name, outcome }, ...calls);
+  return toStep<MoveState, MoveEffect>(ended, { kind: 'ended', name, outcome }, ...escalations);
 };
 
-const appendEnded = (state: WatchedState, outcome: MoveOutcome, now: Millis): MoveStep =>
+const appendTerminalRecord = (state: StateWithMove, outcome: MoveOutcome, now: Millis): MoveStep =>
   toStep<MoveState, MoveEffect>(
-    { ...state, askedAt: now },
+    { ...state, terminalAppendAt: now },
     { kind: 'append-ended', name: state.move.name, outcome },
   );
 
-const stopLocally = (state: WatchedState, finding: FaultFinding | null, now: Millis): MoveStep => {
-  const stopping: WatchedState = { ...state, phase: 'stopping', routes: NO_ROUTES };
-  const step = appendEnded(stopping, 'taken-back', now);
-  const stops: readonly MoveEffect[] =
+const stopLocally = (state: StateWithMove, finding: FaultFinding | null, now: Millis): MoveStep => {
+  const stopping: StateWithMove = { ...state, phase: 'stopping', routes: NO_ROUTES };
+  const step = appendTerminalRecord(stopping, 'taken-back', now);
+  const stopEffects: readonly MoveEffect[] =
     finding === null ? [] : [{ kind: 'stopped', name: state.move.name, finding }];
   return toStep(
     step.state,
     { kind: 'shares-changed', routes: NO_ROUTES },
-    ...stops,
+    ...stopEffects,
     ...step.effects,
   );
 };
 
 type Shares = Extract<ShareDecision, { readonly kind: 'shares' }>;
 
-const isSame = (left: ReadonlyMap<string, number>, right: ReadonlyMap<string, number>): boolean =>
+const hasSameShares = (
+  left: ReadonlyMap<string, number>,
+  right: ReadonlyMap<string, number>,
+): boolean =>
   left.size === right.size && [...left].every(([route, share]) => right.get(route) === share);
 
 const isTrafficMoved = (evidence: Evidence): boolean =>
-  [...collectRoutes(evidence).values()].every(
-    ({ recentOld, recentNew }) => recentOld <= MOVED_OLD_SHARE * (recentOld + recentNew),
+  [...collectRouteEvidence(evidence).values()].every(
+    ({ recentOld, recentNew }) => recentOld <= MOVED_MAX_OLD_SHARE * (recentOld + recentNew),
   );
 
 /** A late fault is caught only while the move is open, so it stays open as long as it may. */
-const isSoaked = ({ move, fullSince }: WatchedState, now: Millis): boolean => {
-  if (fullSince === null || now - fullSince < SOAK_MS) return false;
+const isSoaked = ({ move, fullSince }: StateWithMove, now: Millis): boolean => {
+  if (fullSince === null || now - fullSince < MIN_SOAK_MS) return false;
   const duration = move.deadline - move.startedAt;
-  const isLate = now >= move.deadline - duration * LAST_SHARE_OF_TIME;
-  return isLate || now - fullSince >= duration * SOAK_SHARE_OF_TIME;
+  const isLate = now >= move.deadline - duration * FINAL_TIME_FRACTION;
+  return isLate || now - fullSince >= duration * SOAK_TIME_FRACTION;
 };
 
-const isDone = (state: WatchedState, shares: Shares, now: Millis): boolean =>
-  isSoaked(state, now) && shares.doubt === 'none' && isTrafficMoved(state.evidence);
+const isDone = (state: StateWithMove, shares: Shares, now: Millis): boolean =>
+  isSoaked(state, now) && shares.suspicion === 'none' && isTrafficMoved(state.evidence);
 
-const checkDeadline = (state: WatchedState, shares: Shares, now: Millis): MoveStep => {
+const checkEscalation = (state: StateWithMove, shares: Shares, now: Millis): MoveStep => {
   const { move } = state;
-  const callAt = move.deadline - (move.deadline - move.startedAt) * OPERATOR_SHARE_OF_TIME;
-  if (now < callAt || state.operator === 'asked' || shares.progress === 'full') {
+  const escalateAt = move.deadline - (move.deadline - move.startedAt) * ESCALATION_TIME_FRACTION;
+  if (now < escalateAt || state.operator === 'asked' || shares.progress === 'full') {
     return toStep(state);
   }
-  const reason = shares.doubt === 'some' ? 'unclear-evidence' : 'too-little-evidence';
+  const reason = shares.suspicion === 'some' ? 'unclear-evidence' : 'too-little-evidence';
   return toStep<MoveState, MoveEffect>(
     { ...state, operator: 'asked' },
     { kind: 'needs-operator', name: move.name, reason },
   );
 };
 
-const applyShares = (state: WatchedState, shares: Shares, now: Millis): MoveStep => {
+const applyShares = (state: StateWithMove, shares: Shares, now: Millis): MoveStep => {
   const fullSince = shares.progress === 'full' ? (state.fullSince ?? now) : null;
-  const next: WatchedState = { ...state, routes: shares.routes, fullSince };
-  const changes: readonly MoveEffect[] = isSame(state.routes, shares.routes)
+  const next: StateWithMove = { ...state, routes: shares.routes, fullSince };
+  const changes: readonly MoveEffect[] = hasSameShares(state.routes, shares.routes)
     ? []
     : [{ kind: 'shares-changed', routes: shares.routes }];
   const isFinished = isDone(next, shares, now);
-  const last = isFinished
-    ? appendEnded({ ...next, phase: 'finishing' }, 'done', now)
-    : checkDeadline({ ...next, phase: 'moving' }, shares, now);
-  return toStep(last.state, ...changes, ...last.effects);
+  const nextStep = isFinished
+    ? appendTerminalRecord({ ...next, phase: 'finishing' }, 'done', now)
+    : checkEscalation({ ...next, phase: 'moving' }, shares, now);
+  return toStep(nextStep.state, ...changes, ...nextStep.effects);
 };
 
-const updateShares = (state: WatchedState, now: Millis): MoveStep => {
-  const evidence = observeEvidence(state.evidence, state.move, now);
-  const looked: WatchedState = { ...state, evidence };
+const updateShares = (state: StateWithMove, now: Millis): MoveStep => {
+  const evidence = compareVersions(state.evidence, state.move, now);
+  const evaluated: StateWithMove = { ...state, evidence };
   const decision = decideShare(state.move, evidence, now);
   switch (decision.kind) {
     case 'stop':
-      return stopLocally(looked, decision.finding, now);
+      return stopLocally(evaluated, decision.finding, now);
     case 'shares':
-      return applyShares(looked, decision, now);
+      return applyShares(evaluated, decision, now);
     default:
       return assertNever(decision);
   }
 };
 
 const handleTick = (state: MoveState, now: Millis): MoveStep => {
-  if (!isWatched(state)) return toStep(state);
-  const isAppendDue = now - state.askedAt >= APPEND_AGAIN_MS;
+  if (!hasMove(state)) return toStep(state);
+  const isAppendDue = now - state.terminalAppendAt >= APPEND_RETRY_MS;
   switch (state.phase) {
     case 'moving':
       return updateShares(state, now);
@@ -179,10 +182,12 @@
       const step = updateShares(state, now);
       const isWaiting = step.state.phase === 'finishing' && !isAppendDue;
       const effects = step.effects.filter((effect) => effect.kind !== 'append-ended');
-      return isWaiting ? toStep({ ...step.state, askedAt: state.askedAt }, ...effects) : step;
+      return isWaiting
+        ? toStep({ ...step.state, terminalAppendAt: state.terminalAppendAt }, ...effects)
+        : step;
     }
     case 'stopping':
-      return isAppendDue ? appendEnded(state, 'taken-back', now) : toStep(state);
+      return isAppendDue ? appendTerminalRecord(state, 'taken-back', now) : toStep(state);
     case 'idle':
     case 'done':
     case 'taken-back':
@@ -192,11 +197,11 @@
   }
 };
 
-const takeEvidence = (
+const handleEvidence = (
   state: MoveState,
   event: Extract<MoveEvent, { readonly kind: 'evidence' }>,
 ): MoveStep => {
-  if (!isWatched(state)) return toStep(state);
+  if (!hasMove(state)) return toStep(state);
   const isOpen = state.phase === 'moving' || state.phase === 'finishing';
   if (!isOpen) return toStep(state);
   const evidence = addEvidence(state.evidence, state.move, event.report, event.now);
@@ -215,12 +220,12 @@
     case 'move-record':
       return startMove(state, event.move, event.now);
     case 'ended-record':
-      return finishMove(state, event.name, event.outcome);
+      return applyTerminalRecord(state, event.name, event.outcome);
     case 'evidence':
-      return takeEvidence(state, event);
+      return handleEvidence(state, event);
     case 'take-back-order': {
       const isOpen = state.phase === 'moving' || state.phase === 'finishing';
-      return isWatched(state) && isOpen ? stopLocally(state, null, event.now) : toStep(state);
+      return hasMove(state) && isOpen ? stopLocally(state, null, event.now) : toStep(state);
     }
     case 'tick':
       return handleTick(state, event.now);
--- a/packages/decisions/moves/moveProperty.fixture.ts
+++ b/packages/decisions/moves/moveProperty.fixture.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { addEvidence, collectRoutes, initEvidence, observeEvidence } from './evidence.js';
+import { addEvidence, collectRouteEvidence, initEvidence, compareVersions } from './evidence.js';
 import { MOVE, runMove } from './moveSimulation.fixture.js';
 import type { MoveRun, VersionBehaviour } from './moveSimulation.fixture.js';
 import type { EvidenceReport } from './types.js';
@@ -29,7 +29,7 @@
   if (run.record?.outcome !== wanted) return `ended as ${run.record?.outcome ?? 'nothing'}`;
   if (run.phases.some((phase) => phase !== wanted)) return `phases ${run.phases.join(' ')}`;
   if (behaviour === 'good') return run.record.at <= MOVE.deadline ? null : 'after the deadline';
-  if (run.lateToNew > 0) return `${run.lateToNew.toString()} requests after 5 s`;
+  if (run.lateRequestsToNew > 0) return `${run.lateRequestsToNew.toString()} requests after 5 s`;
   if (!BAD_FROM_START.has(behaviour)) return null;
   // Each request is drawn by itself, so one run may deviate by three standard deviations.
   const bound = 0.05 * run.requests + 3 * Math.sqrt(0.05 * run.requests);
@@ -83,8 +83,8 @@
   return fc.property(anyOrder, ([order, repeated]) => {
     let evidence = initEvidence(0);
     for (const report of [...order, ...repeated]) {
-      evidence = observeEvidence(addEvidence(evidence, MOVE, report, 0), MOVE, 0);
+      evidence = compareVersions(addEvidence(evidence, MOVE, report, 0), MOVE, 0);
     }
-    return collectRoutes(evidence).get('r')?.answers === 30;
+    return collectRouteEvidence(evidence).get('r')?.answers === 30;
   });
 };
--- a/packages/decisions/moves/moveSimulation.fixture.ts
+++ b/packages/decisions/moves/moveSimulation.fixture.ts
@@ -21,9 +21,9 @@
   readonly requests: number;
   readonly requestsToNew: number;
   /** Requests to the new version later than 5 s after the fault was clear. */
-  readonly lateToNew: number;
+  readonly lateRequestsToNew: number;
   /** Instant at which the fault had hit ten requests. */
-  readonly clearAt: number;
+  readonly detectableAt: number;
   /** Time from there to the last request that went to the new version. */
   readonly reactionMs: number;
   readonly operatorCalls: number;
@@ -49,17 +49,17 @@
 };
 
 const STEP_MS = 100;
-const LOOK_MS = 500;
-const ENTRIES = 3;
+const TICK_MS = 500;
+const ENTRY_DAEMONS = 3;
 const ROUTES = ['/chat', '/batch'];
 const CLASSES = ['lookup', 'memo'];
 const DATA_CENTRES = ['east', 'west'];
-const CLEAR_HITS = 10;
-const BOUND_MS = 5_000;
-const LATE_FROM_MS = 130_000;
-const LOSS = 0.2;
-const BASE_FAILURES = 0.005;
-const BASE_SLOW = 0.02;
+const DETECTABLE_FAULTS = 10;
+const STOP_BOUND_MS = 5_000;
+const LATE_FAULT_FROM_MS = 130_000;
+const REPORT_LOSS_RATE = 0.2;
+const BASE_FAILURE_RATE = 0.005;
+const BASE_SLOW_RATE = 0.02;
 
 interface SimulatedEndpoint {
   readonly version: 'v1' | 'v2';
@@ -76,11 +76,11 @@
   readonly className: string;
   readonly failed: boolean;
   readonly slow: boolean;
-  readonly hit: boolean;
+  readonly hitByFault: boolean;
 }
 
 /** Probability with which the new version's own fault makes a request fail. */
-const computeFault = (
+const computeFaultProbability = (
   behaviour: VersionBehaviour,
   now: number,
   route: string,
@@ -92,7 +92,7 @@
     case 'fails-half':
       return 0.5;
     case 'fails-late':
-      return now >= LATE_FROM_MS ? 0.5 : 0;
+      return now >= LATE_FAULT_FROM_MS ? 0.5 : 0;
     case 'fails-under-load':
       return newShare > 0.3 ? 0.5 : 0;
     case 'fails-on-one-route':
@@ -115,9 +115,9 @@
  */
 export const runMove = (scenario: MoveScenario): MoveRun => {
   const { seed, behaviour, requestsPerSecond, orderAt } = scenario;
-  const loss = scenario.reports === 'none' ? 1 : LOSS;
+  const lossRate = scenario.reports === 'none' ? 1 : REPORT_LOSS_RATE;
   const random = createRandomSource(seed);
-  const entries: MoveState[] = Array.from({ length: ENTRIES }, initMove);
+  const entries: MoveState[] = Array.from({ length: ENTRY_DAEMONS }, initMove);
   const endpoints = (['v1', 'v2'] as const).flatMap((version) =>
     [0, 1, 2, 3].map((index): SimulatedEndpoint => ({
       version,
@@ -136,14 +136,14 @@
   let started = 0;
   let requests = 0;
   let requestsToNew = 0;
-  let lateToNew = 0;
-  let hits = 0;
-  let clearAt = Infinity;
+  let lateRequestsToNew = 0;
+  let faultHits = 0;
+  let detectableAt = Infinity;
   let lastNewAt = 0;
   let operatorCalls = 0;
   let newShare = 0;
 
-  const addAt = <Item>(table: Map<number, Item[]>, delay: number, item: Item): void => {
+  const scheduleItem = <Item>(table: Map<number, Item[]>, delay: number, item: Item): void => {
     const at = now + Math.max(STEP_MS, Math.ceil(delay / STEP_MS) * STEP_MS);
     table.set(at, [...(table.get(at) ?? []), item]);
   };
@@ -153,8 +153,8 @@
     record ??= { outcome, at: now };
     const { outcome: first } = record;
     const event = { kind: 'ended-record', name: MOVE.name, outcome: first, offset: 1 } as const;
-    for (let entry = 0; entry < ENTRIES; entry += 1) {
-      addAt(inbox, random.next() * 500, { entry, event });
+    for (let entry = 0; entry < ENTRY_DAEMONS; entry += 1) {
+      scheduleItem(inbox, random.next() * 500, { entry, event });
     }
   };
 
@@ -179,24 +179,25 @@
       requests = started;
       requestsToNew += 1;
       lastNewAt = now;
-      if (now > clearAt + BOUND_MS) lateToNew += 1;
+      if (now > detectableAt + STOP_BOUND_MS) lateRequestsToNew += 1;
     }
     newShare = newShare * 0.998 + (isNew ? 0.002 : 0);
     const spike = now >= spikeFrom && now < spikeFrom + 20_000 ? 4 : 1;
-    const faulty = isNew && random.next() < computeFault(behaviour, now, route, newShare);
+    const faulty =
+      isNew && random.next() < computeFaultProbability(behaviour, now, route, newShare);
     const slowed = isNew && behaviour === 'slow' && random.next() < 0.8;
-    const failed = faulty || random.next() < BASE_FAILURES * spike;
-    const slow = slowed || random.next() < BASE_SLOW * spike;
+    const failed = faulty || random.next() < BASE_FAILURE_RATE * spike;
+    const slow = slowed || random.next() < BASE_SLOW_RATE * spike;
     const { incarnation } = endpoint;
     const request = { endpoint, incarnation, route, className, failed, slow };
-    addAt(running, 200 + random.next() * 800, { ...request, hit: faulty || slowed });
+    scheduleItem(running, 200 + random.next() * 800, { ...request, hitByFault: faulty || slowed });
   };
 
   const endRequest = (request: RunningRequest): void => {
     const { endpoint, route, className, failed, slow } = request;
     if (request.incarnation !== endpoint.incarnation) return;
-    if (request.hit) hits += 1;
-    if (hits === CLEAR_HITS) clearAt = Math.min(clearAt, now);
+    if (request.hitByFault) faultHits += 1;
+    if (faultHits === DETECTABLE_FAULTS) detectableAt = Math.min(detectableAt, now);
     const key = `${route} ${className}`;
     const before = endpoint.counts.get(key) ?? {
       route,
@@ -219,10 +220,13 @@
       const incarnation = endpoint.incarnation.toString().padStart(4, '0');
       const counts = [...endpoint.counts.values()];
       const report = { endpoint: index.toString(), incarnation, dataCentre, version, counts };
-      for (let entry = 0; entry < ENTRIES; entry += 1) {
-        if (random.next() < loss) continue;
+      for (let entry = 0; entry < ENTRY_DAEMONS; entry += 1) {
+        if (random.next() < lossRate) continue;
         const delay = random.next() < 0.1 ? random.next() * 2_000 : random.next() * 200;
-        addAt(inbox, delay, { entry, event: { kind: 'evidence', report, now: now + delay } });
+        scheduleItem(inbox, delay, {
+          entry,
+          event: { kind: 'evidence', report, now: now + delay },
+        });
       }
     });
   };
@@ -234,7 +238,7 @@
     endpoint.counts = new Map();
   };
 
-  for (let entry = 0; entry < ENTRIES; entry += 1) {
+  for (let entry = 0; entry < ENTRY_DAEMONS; entry += 1) {
     stepEntry(entry, { kind: 'move-record', move: MOVE, now: 0 });
   }
   for (now = 0; now <= MOVE.deadline; now += STEP_MS) {
@@ -245,18 +249,27 @@
     const arrivals = (requestsPerSecond * STEP_MS) / 1_000;
     const count = Math.floor(arrivals + random.next());
     for (let index = 0; index < count; index += 1) {
-      startRequest(entries[Math.floor(random.next() * ENTRIES)] as MoveState);
+      startRequest(entries[Math.floor(random.next() * ENTRY_DAEMONS)] as MoveState);
     }
-    if (now % LOOK_MS === 0) sendReports();
+    if (now % TICK_MS === 0) sendReports();
     if (random.next() < 0.0005) restartEndpoint();
     if (orderAt !== undefined && now === orderAt) {
-      stepEntry(ENTRIES - 1, { kind: 'take-back-order', author: 'operator', now });
+      stepEntry(ENTRY_DAEMONS - 1, { kind: 'take-back-order', author: 'operator', now });
     }
     entries.forEach((_, index) => {
-      if ((now + index * STEP_MS) % LOOK_MS === 0) stepEntry(index, { kind: 'tick', now });
+      if ((now + index * STEP_MS) % TICK_MS === 0) stepEntry(index, { kind: 'tick', now });
     });
   }
   const phases = entries.map((entry) => entry.phase);
-  const reactionMs = lastNewAt - clearAt;
-  return { record, phases, requests, requestsToNew, lateToNew, clearAt, reactionMs, operatorCalls };
+  const reactionMs = lastNewAt - detectableAt;
+  return {
+    record,
+    phases,
+    requests,
+    requestsToNew,
+    lateRequestsToNew,
+    detectableAt,
+    reactionMs,
+    operatorCalls,
+  };
 };
--- a/packages/decisions/moves/notices.test.ts
+++ b/packages/decisions/moves/notices.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { NOTICE_TAKE_OVER_MS } from './constants.js';
+import { NOTICE_TAKEOVER_MS } from './constants.js';
 import { decideNotice, formatNoticeId } from './notices.js';
 import type { EndedMove, NoticeEvent, NoticeState } from './noticeTypes.js';
 
@@ -122,9 +122,9 @@
   t.deepEqual(own.effects, [{ kind: 'send-notice', id: ID, ended: ENDED }]);
   const other = decideNotice(new Map(), { ...event, role: 'other' });
   t.deepEqual(other.effects, []);
-  const early = decideNotice(other.state, { kind: 'tick', now: NOTICE_TAKE_OVER_MS - 1 });
+  const early = decideNotice(other.state, { kind: 'tick', now: NOTICE_TAKEOVER_MS - 1 });
   t.deepEqual(early.effects, []);
-  const due = decideNotice(other.state, { kind: 'tick', now: NOTICE_TAKE_OVER_MS });
+  const due = decideNotice(other.state, { kind: 'tick', now: NOTICE_TAKEOVER_MS });
   t.is(due.effects[0]?.kind, 'send-notice');
   const accepted = decideNotice(other.state, { ...event, role: 'author' });
   t.is(accepted.effects[0]?.kind, 'send-notice');
--- a/packages/decisions/moves/notices.ts
+++ b/packages/decisions/moves/notices.ts
@@ -1,9 +1,9 @@
 import {
-  NOTICE_APPEND_AGAIN_MS,
+  NOTICE_APPEND_RETRY_MS,
   NOTICE_RETRY_FIRST_MS,
   NOTICE_RETRY_MAX_MS,
-  NOTICE_SPREAD_MS,
-  NOTICE_TAKE_OVER_MS,
+  NOTICE_TAKEOVER_SPREAD_MS,
+  NOTICE_TAKEOVER_MS,
 } from './constants.js';
 import type {
   EndedMove,
@@ -43,7 +43,7 @@
     const isFirst = role === 'author' && known.phase === 'waiting' && known.failures === 0;
     return isFirst ? sendNotice(state, id, known) : toStep(state);
   }
-  const dueAt = now + NOTICE_TAKE_OVER_MS + order * NOTICE_SPREAD_MS;
+  const dueAt = now + NOTICE_TAKEOVER_MS + order * NOTICE_TAKEOVER_SPREAD_MS;
   const notice: OpenNotice = { ended, phase: 'waiting', dueAt, failures: 0 };
   return role === 'author'
     ? sendNotice(state, id, notice)
@@ -63,7 +63,7 @@
   notice: OpenNotice,
   now: Millis,
 ): NoticeStep => {
-  const dueAt = now + NOTICE_APPEND_AGAIN_MS;
+  const dueAt = now + NOTICE_APPEND_RETRY_MS;
   const { ended } = notice;
   return toStep(updateNotice(state, id, { ...notice, phase: 'sent', dueAt }), {
     kind: 'append-notified',
@@ -88,7 +88,12 @@
   return toStep(updateNotice(state, id, waiting));
 };
 
-const handleDue = (state: NoticeState, id: string, notice: OpenNotice, now: Millis): NoticeStep => {
+const handleNoticeTick = (
+  state: NoticeState,
+  id: string,
+  notice: OpenNotice,
+  now: Millis,
+): NoticeStep => {
   if (now < notice.dueAt) return toStep(state);
   switch (notice.phase) {
     case 'waiting':
@@ -105,7 +110,7 @@
 const handleTick = (state: NoticeState, now: Millis): NoticeStep => {
   let step: NoticeStep = toStep(state);
   for (const [id, notice] of state) {
-    const next = handleDue(step.state, id, notice, now);
+    const next = handleNoticeTick(step.state, id, notice, now);
     step = { state: next.state, effects: [...step.effects, ...next.effects] };
   }
   return step;
--- a/packages/decisions/moves/sequentialTest.ts
+++ b/packages/decisions/moves/sequentialTest.ts
@@ -14,13 +14,13 @@
  */
 export interface SequentialTest {
   /** Logarithm of the sum over instants that have passed, by odds ratio. */
-  readonly logStarted: readonly number[];
+  readonly logSums: readonly number[];
   /** Weight of the instants that have not passed. */
-  readonly unspent: number;
+  readonly remainingWeight: number;
 }
 
 /** Evidence, as a logarithm, at which a fault is clear: a Bonferroni share of the false alarms. */
-export const CLEAR_LOG_RATIO = Math.log((4 * MAX_CELLS) / FALSE_ALARM_RATE);
+export const SIGNIFICANT_LOG_EVIDENCE = Math.log((4 * MAX_CELLS) / FALSE_ALARM_RATE);
 
 /**
  * Creates a test that has seen nothing.
@@ -28,11 +28,11 @@
  * @returns a test with the weight of early faults in it
  */
 export const initSequentialTest = (): SequentialTest => ({
-  logStarted: ODDS_RATIOS.map(() => Math.log(EARLY_FAULT_WEIGHT)),
-  unspent: 1 - EARLY_FAULT_WEIGHT,
+  logSums: ODDS_RATIOS.map(() => Math.log(EARLY_FAULT_WEIGHT)),
+  remainingWeight: 1 - EARLY_FAULT_WEIGHT,
 });
 
-const addLogs = (left: number, right: number): number => {
+const computeLogSumExp = (left: number, right: number): number => {
   const larger = Math.max(left, right);
   return larger === -Infinity ? larger : larger + Math.log1p(Math.exp(-Math.abs(left - right)));
 };
@@ -50,11 +50,11 @@
   logFactors: readonly number[],
   weight: number,
 ): SequentialTest => {
-  const spent = Math.min(test.unspent, weight);
-  const logStarted = test.logStarted.map(
-    (started, index) => addLogs(started, Math.log(spent)) + (logFactors[index] ?? 0),
+  const usedWeight = Math.min(test.remainingWeight, weight);
+  const logSums = test.logSums.map(
+    (logSum, index) => computeLogSumExp(logSum, Math.log(usedWeight)) + (logFactors[index] ?? 0),
   );
-  return { logStarted, unspent: test.unspent - spent };
+  return { logSums, remainingWeight: test.remainingWeight - usedWeight };
 };
 
 /**
@@ -63,10 +63,10 @@
  * @param test - test to read
  * @returns logarithm of the evidence ratio; 0 without evidence
  */
-export const computeLogRatio = (test: SequentialTest): number =>
-  test.logStarted.reduce(
-    (sum, started) => addLogs(sum, started - Math.log(ODDS_RATIOS.length)),
-    Math.log(test.unspent),
+export const computeLogEvidence = (test: SequentialTest): number =>
+  test.logSums.reduce(
+    (sum, logSum) => computeLogSumExp(sum, logSum - Math.log(ODDS_RATIOS.length)),
+    Math.log(test.remainingWeight),
   );
 
 /** Sum above which partial sums are scaled down, far below the largest number. */
@@ -77,67 +77,75 @@
  * does, given the number of faults and answers (Fisher's noncentral hypergeometric distribution).
  * The rate of faults itself cancels, so that faults of both versions prove nothing.
  *
- * @param fresh - answers of the new version
- * @param old - answers of the old version in the same time and place
+ * @param newTally - answers of the new version
+ * @param oldTally - answers of the old version in the same time and place
  * @param oddsRatio - odds ratio of new to old
  * @returns logarithm of the likelihood ratio
  */
-export const computePresentFactor = (fresh: Tally, old: Tally, oddsRatio: number): number => {
-  const faults = fresh.faults + old.faults;
-  if (faults === 0 || fresh.answers === 0 || old.answers === 0) return 0;
-  const fewest = Math.max(0, faults - old.answers);
-  const most = Math.min(faults, fresh.answers);
-  let chance = 1;
-  let chances = 1;
-  let tilted = 1;
-  let tilts = 1;
+export const computeConcurrentLogRatio = (
+  newTally: Tally,
+  oldTally: Tally,
+  oddsRatio: number,
+): number => {
+  const faults = newTally.faults + oldTally.faults;
+  if (faults === 0 || newTally.answers === 0 || oldTally.answers === 0) return 0;
+  const minFaults = Math.max(0, faults - oldTally.answers);
+  const maxFaults = Math.min(faults, newTally.answers);
+  let nullTerm = 1;
+  let nullSum = 1;
+  let oddsTerm = 1;
+  let oddsSum = 1;
   let logScale = 0;
-  for (let count = fewest; count < most; count += 1) {
+  for (let count = minFaults; count < maxFaults; count += 1) {
     const ratio =
-      ((faults - count) * (fresh.answers - count)) /
-      ((count + 1) * (old.answers - faults + count + 1));
-    chance *= ratio;
-    chances += chance;
-    tilted *= ratio * oddsRatio;
-    tilts += tilted;
-    if (chances > SCALE_LIMIT) {
+      ((faults - count) * (newTally.answers - count)) /
+      ((count + 1) * (oldTally.answers - faults + count + 1));
+    nullTerm *= ratio;
+    nullSum += nullTerm;
+    oddsTerm *= ratio * oddsRatio;
+    oddsSum += oddsTerm;
+    if (nullSum > SCALE_LIMIT) {
       logScale += Math.log(SCALE_LIMIT);
-      chance /= SCALE_LIMIT;
-      chances /= SCALE_LIMIT;
+      nullTerm /= SCALE_LIMIT;
+      nullSum /= SCALE_LIMIT;
     }
-    if (tilts > SCALE_LIMIT) {
+    if (oddsSum > SCALE_LIMIT) {
       logScale -= Math.log(SCALE_LIMIT);
-      tilted /= SCALE_LIMIT;
-      tilts /= SCALE_LIMIT;
+      oddsTerm /= SCALE_LIMIT;
+      oddsSum /= SCALE_LIMIT;
     }
   }
-  const observed = (fresh.faults - fewest) * Math.log(oddsRatio);
-  return observed + Math.log(chances) - Math.log(tilts) + logScale;
+  const observed = (newTally.faults - minFaults) * Math.log(oddsRatio);
+  return observed + Math.log(nullSum) - Math.log(oddsSum) + logScale;
 };
 
 /**
  * Computes how much better an odds ratio explains the faults than a given rate does.
  *
- * @param fresh - answers of the new version
+ * @param tally - answers of the new version
  * @param rate - largest rate of faults that is no fault of the version
  * @param oddsRatio - odds ratio to that rate
  * @returns logarithm of the likelihood ratio
  */
-export const computePastFactor = (fresh: Tally, rate: number, oddsRatio: number): number => {
+export const computeHistoricalLogRatio = (
+  tally: Tally,
+  rate: number,
+  oddsRatio: number,
+): number => {
   if (rate >= 1 || rate <= 0) return 0;
-  const worse = (oddsRatio * rate) / (1 - rate + oddsRatio * rate);
-  const good = fresh.answers - fresh.faults;
-  return fresh.faults * Math.log(worse / rate) + good * Math.log((1 - worse) / (1 - rate));
+  const worseRate = (oddsRatio * rate) / (1 - rate + oddsRatio * rate);
+  const good = tally.answers - tally.faults;
+  return tally.faults * Math.log(worseRate / rate) + good * Math.log((1 - worseRate) / (1 - rate));
 };
 
-const computeDivergence = (left: number, right: number): number => {
+const computeKlDivergence = (left: number, right: number): number => {
   const hit = left === 0 ? 0 : left * Math.log(left / right);
   const miss = left === 1 ? 0 : (1 - left) * Math.log((1 - left) / (1 - right));
   return hit + miss;
 };
 
 /** Halvings of the search interval; enough for a precision of one in a million. */
-const SEARCH_STEPS = 24;
+const BISECTION_STEPS = 24;
 
 /**
  * Computes an upper bound of a rate that holds at all times together with the probability
@@ -146,15 +154,15 @@
  * @param tally - faults among answers
  * @returns the bound; 1 without answers
  */
-export const computeUpperRate = ({ answers, faults }: Tally): number => {
+export const computeRateUpperBound = ({ answers, faults }: Tally): number => {
   if (answers <= 0) return 1;
   const observed = faults / answers;
   const limit = Math.log(((answers + 1) * MAX_CELLS) / FALSE_ALARM_RATE);
   let low = observed;
   let high = 1;
-  for (let step = 0; step < SEARCH_STEPS; step += 1) {
+  for (let step = 0; step < BISECTION_STEPS; step += 1) {
     const middle = (low + high) / 2;
-    if (answers * computeDivergence(observed, middle) < limit) low = middle;
+    if (answers * computeKlDivergence(observed, middle) < limit) low = middle;
     else high = middle;
   }
   return high;
--- a/packages/decisions/moves/share.ts
+++ b/packages/decisions/moves/share.ts
@@ -1,13 +1,13 @@
 import {
   CANARY_SHARE,
-  DOUBT_RATIO,
-  DOUBT_STAGE,
+  SUSPICION_RATIO,
+  SUSPICION_MAX_STAGE,
   EVIDENCE_MAX_AGE_MS,
-  GROWTH_SHARE_OF_TIME,
+  RAMP_TIME_FRACTION,
   SHARE_STAGES,
-  STAGE_REQUESTS,
+  STAGE_MIN_ANSWERS,
 } from './constants.js';
-import { collectRoutes, findFault } from './evidence.js';
+import { collectRouteEvidence, findSignificantFault } from './evidence.js';
 import type { RouteEvidence } from './evidence.js';
 import type { Evidence, Move, ShareDecision, VersionSide } from './types.js';
 import type { Millis } from '../../core/clock.js';
@@ -27,14 +27,14 @@
   requestHash / HASH_VALUES < share ? 'new' : 'old';
 
 const computeTimeStage = (move: Move, now: Millis): number => {
-  const growthMs = (move.deadline - move.startedAt) * GROWTH_SHARE_OF_TIME;
+  const growthMs = (move.deadline - move.startedAt) * RAMP_TIME_FRACTION;
   // One interval more than stages, so that the full share is reached with time to soak.
   return Math.floor(((now - move.startedAt) / growthMs) * (SHARE_STAGES.length + 1));
 };
 
-const computeEvidenceStage = ({ answers, doubt }: RouteEvidence): number => {
-  const stage = STAGE_REQUESTS.findLastIndex((needed) => answers >= needed);
-  return doubt >= Math.log(DOUBT_RATIO) ? Math.min(stage, DOUBT_STAGE) : stage;
+const computeEvidenceStage = ({ answers, logEvidence }: RouteEvidence): number => {
+  const stage = STAGE_MIN_ANSWERS.findLastIndex((needed) => answers >= needed);
+  return logEvidence >= Math.log(SUSPICION_RATIO) ? Math.min(stage, SUSPICION_MAX_STAGE) : stage;
 };
 
 /**
@@ -47,17 +47,17 @@
  * @returns the shares, or a stop
  */
 export const decideShare = (move: Move, evidence: Evidence, now: Millis): ShareDecision => {
-  const finding = findFault(evidence);
+  const finding = findSignificantFault(evidence);
   if (finding !== null) return { kind: 'stop', finding };
-  const isStale = now - evidence.newReportAt > EVIDENCE_MAX_AGE_MS;
+  const isStale = now - evidence.newVersionReportAt > EVIDENCE_MAX_AGE_MS;
   const timeStage = isStale ? 0 : computeTimeStage(move, now);
   const routes = new Map<string, number>();
-  let doubt: 'none' | 'some' = 'none';
-  for (const [route, known] of collectRoutes(evidence)) {
-    const stage = Math.min(timeStage, computeEvidenceStage(known));
+  let suspicion: 'none' | 'some' = 'none';
+  for (const [route, routeEvidence] of collectRouteEvidence(evidence)) {
+    const stage = Math.min(timeStage, computeEvidenceStage(routeEvidence));
     routes.set(route, SHARE_STAGES[Math.max(0, stage)] ?? CANARY_SHARE);
-    if (known.doubt >= Math.log(DOUBT_RATIO)) doubt = 'some';
+    if (routeEvidence.logEvidence >= Math.log(SUSPICION_RATIO)) suspicion = 'some';
   }
   const isFull = routes.size > 0 && [...routes.values()].every((share) => share === 1);
-  return { kind: 'shares', routes, progress: isFull ? 'full' : 'growing', doubt };
+  return { kind: 'shares', routes, progress: isFull ? 'full' : 'growing', suspicion };
 };
--- a/packages/decisions/moves/types.ts
+++ b/packages/decisions/moves/types.ts
@@ -64,9 +64,9 @@
 /** Both tests of one metric. */
 export interface MetricTests {
   /** Against answers of the old version at the same time. */
-  readonly present: SequentialTest;
+  readonly concurrent: SequentialTest;
   /** Against the past of the old version; works when it gets no traffic any more. */
-  readonly past: SequentialTest;
+  readonly historical: SequentialTest;
 }
 
 /** Counts and tests of one class, data centre and route. */
@@ -76,7 +76,7 @@
   readonly total: SideTallies;
   /** Counts since the last comparison at the same time, and the looks they have waited. */
   readonly stratum: SideTallies;
-  readonly looks: number;
+  readonly stratumEvaluations: number;
   /** Counts since the last look. */
   readonly latest: SideTallies;
   /** Counts that fade with each look. */
@@ -85,8 +85,8 @@
 }
 
 /** What one report key has contributed. */
-export interface KnownCounts {
-  readonly base: EvidenceCounts;
+export interface ReportedCounts {
+  readonly baseline: EvidenceCounts;
   readonly newest: EvidenceCounts;
 }
 
@@ -95,12 +95,12 @@
  * `evidence.ts` does. Counts of dead incarnations stay in.
  */
 export interface Evidence {
-  readonly known: Map<string, KnownCounts>;
+  readonly reported: Map<string, ReportedCounts>;
   readonly cells: Map<string, Cell>;
   /** Product over all cells, which finds a weak fault that is spread over them. */
   readonly overall: Readonly<Record<FaultMetric, MetricTests>>;
-  readonly lookedAt: Millis;
-  readonly newReportAt: Millis;
+  readonly evaluatedAt: Millis;
+  readonly newVersionReportAt: Millis;
 }
 
 /** Where a clear fault was found. */
@@ -117,7 +117,7 @@
       readonly kind: 'shares';
       readonly routes: ReadonlyMap<string, number>;
       readonly progress: 'growing' | 'full';
-      readonly doubt: 'none' | 'some';
+      readonly suspicion: 'none' | 'some';
     };
 
 /** `stopping` and `finishing` wait until a terminal record is read back from the log. */
@@ -131,7 +131,7 @@
   readonly routes: ReadonlyMap<string, number>;
   readonly fullSince: Millis | null;
   /** Instant of the newest append of a terminal record. */
-  readonly askedAt: Millis;
+  readonly terminalAppendAt: Millis;
   readonly operator: 'not-asked' | 'asked';
 }
 
--- a/packages/decisions/moves/versionMove.promise.test.ts
+++ b/packages/decisions/moves/versionMove.promise.test.ts
@@ -34,7 +34,7 @@
   test(`P4: a version that ${behaviour} gets nothing 5 s after its fault is clear`, (t) => {
     for (const run of runSeeds(behaviour, BAD_RUNS)) {
       t.is(run.record?.outcome, 'taken-back');
-      t.is(run.lateToNew, 0);
+      t.is(run.lateRequestsToNew, 0);
       t.deepEqual(run.phases, ['taken-back', 'taken-back', 'taken-back']);
     }
   });
@@ -79,5 +79,5 @@
 // Guards against a simulation whose oracle finds nothing: without evidence the canary goes on.
 test('P4: the simulation breaks the promise without the evidence', (t) => {
   const scenario = { seed: 100, behaviour: 'fails-always', requestsPerSecond: 40 } as const;
-  t.true(runMove({ ...scenario, reports: 'none' }).lateToNew > 0);
+  t.true(runMove({ ...scenario, reports: 'none' }).lateRequestsToNew > 0);
 });
