--- a/packages/decisions/configuration/configuration.test.ts
+++ b/packages/decisions/configuration/configuration.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { DELTA_MAX_BYTES, RECENT_RECORDS, SNAPSHOT_DUE_RECORDS } from './constants.js';
+import { DELTA_MAX_BYTES, MAX_RECENT_RECORDS, SNAPSHOT_DUE_RECORDS } from './constants.js';
 import { applySnapshot, decideDelta, planSnapshot, toSnapshot } from './exchange.js';
 import { closeGap, createConfiguration, foldControlRecord, openGap } from './fold.js';
 import { checkProposal, toEntityRecord } from './proposals.js';
@@ -8,35 +8,38 @@
 import type { ConfigurationState, ControlRecord, FoldResult, SnapshotRecord } from './types.js';
 import { buildView } from './view.js';
 
-const takeOut = (basedOn: number | null, entity = 'east'): Proposal => ({
+const buildOutProposal = (basedOn: number | null, entity = 'east'): Proposal => ({
   kind: 'data-centre',
   entity,
   basedOn,
   body: { state: 'out' },
 });
 
-const takeBack = (basedOn: number | null): Proposal => ({
+const buildInProposal = (basedOn: number | null): Proposal => ({
   kind: 'data-centre',
   entity: 'east',
   basedOn,
   body: { state: 'in' },
 });
 
-const toQuarantine = (expiresAt: number): Proposal => ({
+const buildQuarantineProposal = (expiresAt: number): Proposal => ({
   kind: 'quarantine',
   entity: 'f',
   basedOn: null,
   body: { expiresAt },
 });
 
-const startMove = (basedOn: number | null): Proposal => ({
+const buildMoveProposal = (basedOn: number | null): Proposal => ({
   kind: 'move',
   entity: 'm',
   basedOn,
   body: { name: 'm', model: 'draft', from: 'v1', to: 'v2', startedAt: 0, deadline: 9 },
 });
 
-const toMoveEnd = (basedOn: number | null, outcome: 'done' | 'taken-back'): Proposal => ({
+const buildMoveEndProposal = (
+  basedOn: number | null,
+  outcome: 'done' | 'taken-back',
+): Proposal => ({
   kind: 'move-ended',
   entity: 'm',
   basedOn,
@@ -71,28 +74,31 @@
 
 // Guards against two operators who both believe that their change is in force.
 test('of two records on the same offset the first is in force, and the second names it', (t) => {
-  const { results } = foldAll([toRecord(takeOut(null), 'ann'), toRecord(takeOut(null), 'bob')]);
+  const { results } = foldAll([
+    toRecord(buildOutProposal(null), 'ann'),
+    toRecord(buildOutProposal(null), 'bob'),
+  ]);
   t.is(results[0]?.kind, 'in-force');
   t.like(results[1], { kind: 'void', winner: { offset: 0, author: 'ann' } });
 });
 
 // Guards against a change based on something that was never there.
 test('a record that builds on nothing is void and names no winner', (t) => {
-  const { results } = foldAll([toRecord(takeOut(7))]);
+  const { results } = foldAll([toRecord(buildOutProposal(7))]);
   t.like(results[0], { kind: 'void', winner: null });
 });
 
 // Guards against two runs of one move, and against an end that is overruled later.
 test('a move runs once at a time, and its first terminal record is final', (t) => {
   const { state, results } = foldAll([
-    toRecord(toMoveEnd(null, 'done')),
-    toRecord(startMove(null)),
-    toRecord(startMove(1)),
-    toRecord(toMoveEnd(null, 'taken-back'), 'ann'),
-    toRecord(toMoveEnd(null, 'done'), 'bob'),
-    toRecord(startMove(1)),
-    toRecord(toMoveEnd(null, 'done'), 'late'),
-    toRecord(toMoveEnd(5, 'done'), 'cho'),
+    toRecord(buildMoveEndProposal(null, 'done')),
+    toRecord(buildMoveProposal(null)),
+    toRecord(buildMoveProposal(1)),
+    toRecord(buildMoveEndProposal(null, 'taken-back'), 'ann'),
+    toRecord(buildMoveEndProposal(null, 'done'), 'bob'),
+    toRecord(buildMoveProposal(1)),
+    toRecord(buildMoveEndProposal(null, 'done'), 'late'),
+    toRecord(buildMoveEndProposal(5, 'done'), 'cho'),
   ]);
   const kinds = results.map(({ kind }) => kind);
   t.deepEqual(kinds.slice(0, 4), ['void', 'in-force', 'void', 'in-force']);
@@ -104,7 +110,7 @@
 
 // Guards against a daemon with a slow clock that shortens a quarantine.
 test('the end of a quarantine only moves on', (t) => {
-  const ends = [50, 40, 60].map((end) => toRecord(toQuarantine(end)));
+  const ends = [50, 40, 60].map((end) => toRecord(buildQuarantineProposal(end)));
   const { state, results } = foldAll(ends);
   t.deepEqual(
     results.map(({ kind }) => kind),
@@ -115,34 +121,35 @@
 
 // Guards against repeated and early records that move the state.
 test('a record whose offset is not the next one changes nothing', (t) => {
-  const { state } = foldAll([toRecord(takeOut(null))]);
+  const { state } = foldAll([toRecord(buildOutProposal(null))]);
   for (const offset of [0, 2]) {
     const raw = { offset, at: 0, body: null };
-    t.is(foldControlRecord(state, raw, toRecord(takeOut(0))).state, state);
+    t.is(foldControlRecord(state, raw, toRecord(buildOutProposal(0))).state, state);
   }
 });
 
 // Guards against a state with holes after retention dropped unread records.
 test('after a gap only a snapshot that reaches it makes the state exact', (t) => {
-  const early = foldAll([toRecord(takeOut(null))]).state;
-  const late = foldAll([toRecord(takeOut(null, 'west'))], early).state;
+  const early = foldAll([toRecord(buildOutProposal(null))]).state;
+  const late = foldAll([toRecord(buildOutProposal(null, 'west'))], early).state;
   const gap = openGap(createConfiguration(), 2);
   t.is(openGap(late, 2), late);
   const short = foldAll([buildSnapshotRecord(early)], gap).state;
   t.is(short.standing, 'needs-snapshot');
-  const settled = foldAll([toRecord(takeBack(0)), buildSnapshotRecord(late)], short).state;
+  const settled = foldAll([toRecord(buildInProposal(0)), buildSnapshotRecord(late)], short).state;
   t.is(settled.standing, 'exact');
   t.deepEqual(buildView(settled).dataCentresOut, ['west']);
   t.is(closeGap(settled), settled);
-  t.deepEqual(buildView(closeGap(foldAll([toRecord(takeOut(null))], gap).state)).dataCentresOut, [
-    'east',
-  ]);
+  t.deepEqual(
+    buildView(closeGap(foldAll([toRecord(buildOutProposal(null))], gap).state)).dataCentresOut,
+    ['east'],
+  );
 });
 
 // Guards against a peer's older state that replaces a newer one.
 test('a snapshot of a peer is taken only when it is newer', (t) => {
-  const early = foldAll([toRecord(takeOut(null))]).state;
-  const late = foldAll([toRecord(takeBack(0))], early).state;
+  const early = foldAll([toRecord(buildOutProposal(null))]).state;
+  const late = foldAll([toRecord(buildInProposal(0))], early).state;
   t.is(applySnapshot(late, toSnapshot(early)), late);
   t.is(applySnapshot(early, toSnapshot(late)).nextOffset, 2);
   const sameOffset = openGap(createConfiguration(), 2);
@@ -154,8 +161,8 @@
 
 // Guards against answers that miss records, exceed the budget or hand on an inexact state.
 test('a delta holds the missing records within the budget, or a snapshot', (t) => {
-  const records = Array.from({ length: RECENT_RECORDS + 10 }, (_, index) =>
-    toRecord(toQuarantine(index + 1)),
+  const records = Array.from({ length: MAX_RECENT_RECORDS + 10 }, (_, index) =>
+    toRecord(buildQuarantineProposal(index + 1)),
   );
   const { state } = foldAll(records);
   t.deepEqual(decideDelta(state, state.nextOffset).records, []);
@@ -166,7 +173,7 @@
   t.is(decideDelta(state, 9).snapshot?.nextOffset, state.nextOffset);
   const bounded = decideDelta(state, 10);
   t.is(bounded.records[0]?.offset, 10);
-  t.true(bounded.records.length < RECENT_RECORDS);
+  t.true(bounded.records.length < MAX_RECENT_RECORDS);
   t.true(JSON.stringify(bounded.records.map(({ body }) => body)).length <= DELTA_MAX_BYTES * 1.05);
   t.is(decideDelta(openGap(state, 1e6), 0).snapshot, null);
 });
@@ -175,7 +182,10 @@
 
 // Guards against snapshots that are missing, needless or full of what has expired.
 test('a snapshot is planned by age, by count and by what the log still holds', (t) => {
-  const { state } = foldAll([toRecord(takeOut(null)), toRecord(toQuarantine(50))]);
+  const { state } = foldAll([
+    toRecord(buildOutProposal(null)),
+    toRecord(buildQuarantineProposal(50)),
+  ]);
   const plan = (info: object) => planSnapshot(state, { ...RETENTION, ...info }, 'entry', 'n');
   t.is(plan({}), null);
   t.is(plan({ snapshotAgeMs: 100 })?.asOf, 2);
@@ -194,29 +204,29 @@
 
 // Guards against a dry run that says something else than the fold.
 test('a proposal is checked against what is in force', (t) => {
-  const { state } = foldAll([toRecord(takeOut(null), 'ann')]);
-  t.like(checkProposal(state, takeOut(0)), {
+  const { state } = foldAll([toRecord(buildOutProposal(null), 'ann')]);
+  t.like(checkProposal(state, buildOutProposal(0)), {
     kind: 'acceptable',
     change: { before: { state: 'out' } },
   });
-  t.like(checkProposal(state, takeOut(null)), {
+  t.like(checkProposal(state, buildOutProposal(null)), {
     kind: 'lost',
     winner: { offset: 0, author: 'ann' },
   });
-  t.is(checkProposal(state, toMoveEnd(null, 'done')).kind, 'refused');
-  t.is(checkProposal(state, { ...startMove(null), entity: 'other' }).kind, 'refused');
+  t.is(checkProposal(state, buildMoveEndProposal(null, 'done')).kind, 'refused');
+  t.is(checkProposal(state, { ...buildMoveProposal(null), entity: 'other' }).kind, 'refused');
 });
 
 // Guards against records that are taken in although a field is missing, unknown or of no sense.
 test('records and proposals are checked field by field', (t) => {
-  t.true(parseControlRecord(toRecord(takeOut(null))).isOk());
+  t.true(parseControlRecord(toRecord(buildOutProposal(null))).isOk());
   t.is(
-    parseControlRecord({ ...toRecord(takeOut(null)), format: 2 }).unwrapErr().code,
+    parseControlRecord({ ...toRecord(buildOutProposal(null)), format: 2 }).unwrapErr().code,
     'unsupported-format',
   );
-  t.true(parseProposal(startMove(null)).isOk());
-  t.true(parseProposal(toQuarantine(1)).isErr());
-  const move = startMove(null);
+  t.true(parseProposal(buildMoveProposal(null)).isOk());
+  t.true(parseProposal(buildQuarantineProposal(1)).isErr());
+  const move = buildMoveProposal(null);
   t.true(parseProposal({ ...move, body: { ...move.body, to: 'v1' } }).isErr());
   t.true(parseProposal({ ...move, body: { ...move.body, deadline: 0 } }).isErr());
   t.true(parseProposal({ ...move, body: { ...move.body, extra: 1 } }).isErr());
--- a/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
+++ b/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
@@ -46,7 +46,7 @@
     return foldControlRecord({ ...state, entities }, raw, { ...record, basedOn: null });
   },
   'the reach of a snapshot': (state, raw, record) =>
-    foldControlRecord({ ...state, unbasedFrom: 0 }, raw, record),
+    foldControlRecord({ ...state, gapEnd: 0 }, raw, record),
 };
 
 const VARIANTS: Readonly<Record<string, Mechanisms>> = {
@@ -55,7 +55,8 @@
   ),
   "the offset of a peer's snapshot": {
     ...ALL_MECHANISMS,
-    take: (state, snapshot) => ALL_MECHANISMS.take({ ...state, nextOffset: -1 }, snapshot),
+    applySnapshot: (state, snapshot) =>
+      ALL_MECHANISMS.applySnapshot({ ...state, nextOffset: -1 }, snapshot),
   },
 };
 
--- a/packages/decisions/configuration/configurationSimulation.fixture.ts
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -15,10 +15,10 @@
 /** Decisions under test; variants leave out one mechanism. */
 export interface Mechanisms {
   readonly fold: typeof foldControlRecord;
-  readonly take: typeof applySnapshot;
+  readonly applySnapshot: typeof applySnapshot;
 }
 
-export const ALL_MECHANISMS: Mechanisms = { fold: foldControlRecord, take: applySnapshot };
+export const ALL_MECHANISMS: Mechanisms = { fold: foldControlRecord, applySnapshot };
 
 export type ActionKind =
   | 'propose'
@@ -51,7 +51,7 @@
   | { readonly kind: 'delta'; readonly delta: ConfigurationDelta }
   | { readonly kind: 'snapshot'; readonly snapshot: ConfigurationSnapshot };
 
-interface World {
+interface Simulation {
   readonly mechanisms: Mechanisms;
   readonly daemons: readonly Daemon[];
   /** Every record ever appended, also those that the log has dropped. */
@@ -70,11 +70,11 @@
 const ENDPOINT_COUNT = 3;
 const FAR_FUTURE = 1e9;
 
-const pickOf = <Item>(items: readonly Item[], pick: number): Item | undefined =>
+const pickItem = <Item>(items: readonly Item[], pick: number): Item | undefined =>
   items[pick % Math.max(1, items.length)];
 
-const listRole = (world: World, role: Daemon['role']): readonly Daemon[] =>
-  world.daemons.filter((daemon) => daemon.role === role);
+const listRole = (simulation: Simulation, role: Daemon['role']): readonly Daemon[] =>
+  simulation.daemons.filter((daemon) => daemon.role === role);
 
 const TARGET_CLASS = {
   className: 'memo',
@@ -118,29 +118,34 @@
 };
 
 /** An author builds on what one entry daemon shows, however old. */
-const addProposal = (world: World, kind: EntityKind, entity: string, pick: number): void => {
-  const seen = pickOf(listRole(world, 'entry'), pick)?.state;
+const addProposal = (
+  simulation: Simulation,
+  kind: EntityKind,
+  entity: string,
+  pick: number,
+): void => {
+  const seen = pickItem(listRole(simulation, 'entry'), pick)?.state;
   if (seen === undefined || seen.standing !== 'exact') return;
   const known = seen.entities.get(`${kind}\u0000${entity}`);
   const endedAt = seen.entities.get(`move-ended\u0000${entity}`)?.offset ?? 0;
-  world.pending.push({
+  simulation.pending.push({
     kind,
     format: 1,
     author: `author-${(pick % 5).toString()}`,
-    nonce: `nonce-${world.now.toString()}`,
+    nonce: `nonce-${simulation.now.toString()}`,
     entity,
     basedOn: known?.offset ?? null,
-    body: buildBody(kind, entity, pick, world.now, endedAt),
+    body: buildBody(kind, entity, pick, simulation.now, endedAt),
   });
 };
 
-const checkDaemon = (world: World, daemon: Daemon, before: ConfigurationState): void => {
+const checkDaemon = (simulation: Simulation, daemon: Daemon, before: ConfigurationState): void => {
   const { state } = daemon;
   if (state.nextOffset < before.nextOffset) throw new Error('the offset went back');
   if (state.standing !== 'exact') return;
-  const expected = foldReference(world.history.slice(0, state.nextOffset)).entities;
-  const wanted = describeEntities(expected, world.now);
-  if (describeEntities(state.entities, world.now) !== wanted) {
+  const expected = foldReference(simulation.history.slice(0, state.nextOffset)).entities;
+  const wanted = describeEntities(expected, simulation.now);
+  if (describeEntities(state.entities, simulation.now) !== wanted) {
     throw new Error(`the entities at offset ${state.nextOffset.toString()} differ`);
   }
 };
@@ -148,70 +153,76 @@
 const describeRow = (row: ReferenceRow): string =>
   row.kind === 'void' ? `void ${JSON.stringify(row.winner)}` : row.kind;
 
-const foldOne = (world: World, daemon: Daemon, raw: RawRecord): void => {
+const foldRawRecord = (simulation: Simulation, daemon: Daemon, raw: RawRecord): void => {
   const parsed = parseControlRecord(raw.body).unwrapOr(null);
   const before = daemon.state;
-  const { state, result } = world.mechanisms.fold(before, raw, parsed);
+  const { state, result } = simulation.mechanisms.fold(before, raw, parsed);
   daemon.state = state;
-  checkDaemon(world, daemon, before);
+  checkDaemon(simulation, daemon, before);
   if (before.standing !== 'exact' || state === before) return;
   if (result.kind !== 'in-force' && result.kind !== 'void') return;
   const seen = describeRow(
     result.kind === 'void' ? { kind: 'void', winner: result.winner } : { kind: 'in-force' },
   );
-  const earlier = world.results.get(raw.offset) ?? seen;
+  const earlier = simulation.results.get(raw.offset) ?? seen;
   // A snapshot leaves out quarantines that have expired, and only those may be judged differently.
   if (earlier !== seen && parsed?.kind !== 'quarantine')
     throw new Error('two daemons judge a record differently');
-  world.results.set(raw.offset, seen);
+  simulation.results.set(raw.offset, seen);
 };
 
-const takeSnapshot = (world: World, daemon: Daemon, snapshot: ConfigurationSnapshot): void => {
+const takeSnapshot = (
+  simulation: Simulation,
+  daemon: Daemon,
+  snapshot: ConfigurationSnapshot,
+): void => {
   const before = daemon.state;
-  daemon.state = world.mechanisms.take(before, snapshot);
-  checkDaemon(world, daemon, before);
+  daemon.state = simulation.mechanisms.applySnapshot(before, snapshot);
+  checkDaemon(simulation, daemon, before);
 };
 
-const receive = (world: World, daemon: Daemon, message: Message): void => {
+const receive = (simulation: Simulation, daemon: Daemon, message: Message): void => {
   switch (message.kind) {
     case 'page':
       daemon.state = openGap(daemon.state, message.firstOffset);
-      for (const raw of message.records) foldOne(world, daemon, raw);
+      for (const raw of message.records) foldRawRecord(simulation, daemon, raw);
       return;
     case 'delta':
-      if (message.delta.snapshot !== null) takeSnapshot(world, daemon, message.delta.snapshot);
-      for (const raw of message.delta.records) foldOne(world, daemon, raw);
+      if (message.delta.snapshot !== null) takeSnapshot(simulation, daemon, message.delta.snapshot);
+      for (const raw of message.delta.records) foldRawRecord(simulation, daemon, raw);
       return;
     case 'snapshot':
-      takeSnapshot(world, daemon, message.snapshot);
+      takeSnapshot(simulation, daemon, message.snapshot);
       return;
     default:
       assertNever(message);
   }
 };
 
-const readLog = (world: World, daemon: Daemon, limit: number): Message => {
-  const from = Math.max(daemon.state.nextOffset, world.firstOffset);
-  const records = world.history.slice(from, from + limit);
-  return { kind: 'page', firstOffset: world.firstOffset, records };
+const readLog = (simulation: Simulation, daemon: Daemon, limit: number): Message => {
+  const from = Math.max(daemon.state.nextOffset, simulation.firstOffset);
+  const records = simulation.history.slice(from, from + limit);
+  return { kind: 'page', firstOffset: simulation.firstOffset, records };
 };
 
-const appendRecord = (world: World, body: object): void => {
-  world.history.push({ offset: world.history.length, at: world.now, body });
+const appendRecord = (simulation: Simulation, body: object): void => {
+  simulation.history.push({ offset: simulation.history.length, at: simulation.now, body });
 };
 
 /** Retention drops only what a snapshot in the log covers; another test shows that one is there. */
-const expireRecords = (world: World, pick: number): void => {
-  const kept = world.history.slice(world.firstOffset).map(({ body }) => body as { asOf?: number });
-  const covered = Math.max(world.firstOffset, ...kept.map(({ asOf }) => asOf ?? 0));
-  world.firstOffset += pick % (covered - world.firstOffset + 1);
+const expireRecords = (simulation: Simulation, pick: number): void => {
+  const kept = simulation.history
+    .slice(simulation.firstOffset)
+    .map(({ body }) => body as { asOf?: number });
+  const covered = Math.max(simulation.firstOffset, ...kept.map(({ asOf }) => asOf ?? 0));
+  simulation.firstOffset += pick % (covered - simulation.firstOffset + 1);
 };
 
-const planAt = (world: World, daemon: Daemon): void => {
-  const { firstOffset, now } = world;
+const planSnapshotAt = (simulation: Simulation, daemon: Daemon): void => {
+  const { firstOffset, now } = simulation;
   const info = { firstOffset, snapshotAt: null, snapshotAgeMs: 1, maxAgeMs: 0, now };
   const record = planSnapshot(daemon.state, info, 'entry', `nonce-${now.toString()}`);
-  if (record !== null) world.pending.push(record);
+  if (record !== null) simulation.pending.push(record);
 };
 
 const PROPOSED = [
@@ -220,81 +231,86 @@
   ['move', 'to-v2'],
 ] as const;
 
-const receiveOne = (world: World, pick: number): void => {
-  const index = pick % Math.max(1, world.messages.length);
-  const sent = world.messages[index];
+const receiveNext = (simulation: Simulation, pick: number): void => {
+  const index = pick % Math.max(1, simulation.messages.length);
+  const sent = simulation.messages[index];
   if (sent === undefined) return;
   // Every third message comes again later.
-  if (pick % 3 !== 0) world.messages.splice(index, 1);
-  receive(world, sent.to, sent.message);
+  if (pick % 3 !== 0) simulation.messages.splice(index, 1);
+  receive(simulation, sent.to, sent.message);
 };
 
-const performAction = (world: World, { kind, pick }: SimulationAction): void => {
-  const entry = pickOf(listRole(world, 'entry'), pick) as Daemon;
-  const other = pickOf(world.daemons, Math.floor(pick / 7)) as Daemon;
+const performAction = (simulation: Simulation, { kind, pick }: SimulationAction): void => {
+  const entry = pickItem(listRole(simulation, 'entry'), pick) as Daemon;
+  const other = pickItem(simulation.daemons, Math.floor(pick / 7)) as Daemon;
   switch (kind) {
     case 'propose': {
-      const [proposed, entity] = pickOf(PROPOSED, Math.floor(pick / 5)) ?? PROPOSED[0];
-      return addProposal(world, proposed, entity, pick);
+      const [proposed, entity] = pickItem(PROPOSED, Math.floor(pick / 5)) ?? PROPOSED[0];
+      return addProposal(simulation, proposed, entity, pick);
     }
     case 'quarantine':
-      return addProposal(world, 'quarantine', 'fingerprint', pick);
+      return addProposal(simulation, 'quarantine', 'fingerprint', pick);
     case 'end-move':
-      return addProposal(world, 'move-ended', 'to-v2', pick);
+      return addProposal(simulation, 'move-ended', 'to-v2', pick);
     case 'notify-move':
-      return addProposal(world, 'move-notified', 'to-v2', pick);
+      return addProposal(simulation, 'move-notified', 'to-v2', pick);
     case 'later-format':
-      world.pending.push({ kind: 'targets', format: 2, shape: 'unknown' });
+      simulation.pending.push({ kind: 'targets', format: 2, shape: 'unknown' });
       return;
     case 'plan-snapshot':
-      return planAt(world, entry);
+      return planSnapshotAt(simulation, entry);
     case 'append': {
       const [body] =
-        world.log === 'up' ? world.pending.splice(pick % Math.max(1, world.pending.length), 1) : [];
-      if (body !== undefined) appendRecord(world, body);
+        simulation.log === 'up'
+          ? simulation.pending.splice(pick % Math.max(1, simulation.pending.length), 1)
+          : [];
+      if (body !== undefined) appendRecord(simulation, body);
       return;
     }
     case 'read':
-      if (world.log === 'up') {
-        world.messages.push({ to: entry, message: readLog(world, entry, 1 + (pick % 9)) });
+      if (simulation.log === 'up') {
+        simulation.messages.push({
+          to: entry,
+          message: readLog(simulation, entry, 1 + (pick % 9)),
+        });
       }
       return;
     case 'outage':
-      world.log = world.log === 'up' ? 'out' : 'up';
+      simulation.log = simulation.log === 'up' ? 'out' : 'up';
       return;
     case 'retain':
-      return expireRecords(world, pick);
+      return expireRecords(simulation, pick);
     case 'restart':
       other.state = createConfiguration();
       return;
     case 'heartbeat': {
-      const to = pickOf(listRole(world, 'endpoint'), Math.floor(pick / 7)) as Daemon;
+      const to = pickItem(listRole(simulation, 'endpoint'), Math.floor(pick / 7)) as Daemon;
       const delta = decideDelta(entry.state, to.state.nextOffset);
-      world.messages.push({ to, message: { kind: 'delta', delta } });
+      simulation.messages.push({ to, message: { kind: 'delta', delta } });
       return;
     }
     case 'ask-peer':
       if (entry.state.standing === 'exact' && other.role === 'entry') {
         const message = { kind: 'snapshot', snapshot: toSnapshot(entry.state) } as const;
-        world.messages.push({ to: other, message });
+        simulation.messages.push({ to: other, message });
       }
       return;
     case 'deliver':
-      return receiveOne(world, pick);
+      return receiveNext(simulation, pick);
     default:
       assertNever(kind);
   }
 };
 
-const settleAll = (world: World): void => {
-  for (const entry of listRole(world, 'entry')) {
-    receive(world, entry, readLog(world, entry, Infinity));
+const readToEnd = (simulation: Simulation): void => {
+  for (const entry of listRole(simulation, 'entry')) {
+    receive(simulation, entry, readLog(simulation, entry, Infinity));
   }
-  const entry = pickOf(listRole(world, 'entry'), world.now) as Daemon;
-  for (const endpoint of listRole(world, 'endpoint')) {
+  const entry = pickItem(listRole(simulation, 'entry'), simulation.now) as Daemon;
+  for (const endpoint of listRole(simulation, 'endpoint')) {
     // A delta is bounded in bytes, so several answers may be needed.
-    for (let round = 0; round < world.history.length + 1; round += 1) {
-      receive(world, endpoint, {
+    for (let round = 0; round < simulation.history.length + 1; round += 1) {
+      receive(simulation, endpoint, {
         kind: 'delta',
         delta: decideDelta(entry.state, endpoint.state.nextOffset),
       });
@@ -303,11 +319,11 @@
 };
 
 /** Compares what the daemons saw with the plain fold of the whole history. */
-const checkResults = (world: World): void => {
-  const { rows } = foldReference(world.history);
-  for (const [offset, seen] of world.results) {
+const checkResults = (simulation: Simulation): void => {
+  const { rows } = foldReference(simulation.history);
+  for (const [offset, seen] of simulation.results) {
     const row = rows[offset] as ReferenceRow;
-    const { kind } = world.history[offset]?.body as { readonly kind?: string };
+    const { kind } = simulation.history[offset]?.body as { readonly kind?: string };
     if (kind !== 'quarantine' && seen !== describeRow(row)) {
       throw new Error(`the loser or winner at offset ${offset.toString()} was told something else`);
     }
@@ -315,15 +331,15 @@
 };
 
 /** Of the records of one entity that build on the same offset, one is in force. */
-const checkRaces = (world: World): void => {
-  const { rows } = foldReference(world.history);
+const checkRaces = (simulation: Simulation): void => {
+  const { rows } = foldReference(simulation.history);
   const races = new Map<string, number>();
-  for (const { offset, body } of world.history) {
+  for (const { offset, body } of simulation.history) {
     const { kind, entity, basedOn } = body as Record<string, unknown>;
     if (kind !== 'targets' && kind !== 'data-centre') continue;
     if (entity === undefined) continue;
     const race = JSON.stringify([kind, entity, basedOn]);
-    const seen = world.results.get(offset) ?? describeRow(rows[offset] as ReferenceRow);
+    const seen = simulation.results.get(offset) ?? describeRow(rows[offset] as ReferenceRow);
     races.set(race, (races.get(race) ?? 0) + (seen === 'in-force' ? 1 : 0));
   }
   for (const [race, winners] of races) {
@@ -332,14 +348,17 @@
   }
 };
 
-const checkEnd = (world: World): void => {
-  for (const daemon of world.daemons) {
-    if (daemon.state.standing !== 'exact' || daemon.state.nextOffset !== world.history.length) {
+const checkFinalState = (simulation: Simulation): void => {
+  for (const daemon of simulation.daemons) {
+    if (
+      daemon.state.standing !== 'exact' ||
+      daemon.state.nextOffset !== simulation.history.length
+    ) {
       throw new Error(`an ${daemon.role} daemon did not reach the end of the log`);
     }
   }
-  checkRaces(world);
-  checkResults(world);
+  checkRaces(simulation);
+  checkResults(simulation);
 };
 
 /**
@@ -359,7 +378,7 @@
     ...Array.from({ length: ENTRY_COUNT }, () => 'entry' as const),
     ...Array.from({ length: ENDPOINT_COUNT }, () => 'endpoint' as const),
   ];
-  const world: World = {
+  const simulation: Simulation = {
     mechanisms,
     daemons: roles.map((role) => ({ role, state: createConfiguration() })),
     history: [],
@@ -371,10 +390,10 @@
     now: 0,
   };
   for (const action of actions) {
-    world.now += 1;
-    performAction(world, action);
+    simulation.now += 1;
+    performAction(simulation, action);
   }
-  settleAll(world);
-  checkEnd(world);
-  return world.history.length;
+  readToEnd(simulation);
+  checkFinalState(simulation);
+  return simulation.history.length;
 };
--- a/packages/decisions/configuration/exchange.ts
+++ b/packages/decisions/configuration/exchange.ts
@@ -2,7 +2,7 @@
   CONTROL_FORMAT,
   DELTA_MAX_BYTES,
   SNAPSHOT_DUE_RECORDS,
-  SNAPSHOT_DUE_SHARE,
+  SNAPSHOT_DUE_FRACTION,
 } from './constants.js';
 import { formatEntityKey } from './fold.js';
 import type {
@@ -52,21 +52,21 @@
     ),
     recent: [],
     standing: 'exact',
-    unbased: [],
-    unbasedFrom: 0,
+    deferred: [],
+    gapEnd: 0,
   };
 };
 
-const takeWithinBudget = (records: readonly RawRecord[]): readonly RawRecord[] => {
+const limitBytes = (records: readonly RawRecord[]): readonly RawRecord[] => {
   let bytes = 0;
-  const taken: RawRecord[] = [];
+  const selected: RawRecord[] = [];
   for (const record of records) {
     bytes += JSON.stringify(record.body).length;
     // A single record above the budget still goes, or its reader would never get past it.
-    if (bytes > DELTA_MAX_BYTES && taken.length > 0) break;
-    taken.push(record);
+    if (bytes > DELTA_MAX_BYTES && selected.length > 0) break;
+    selected.push(record);
   }
-  return taken;
+  return selected;
 };
 
 /**
@@ -85,7 +85,7 @@
   const recentFrom = watermark - state.recent.length;
   if (offset < recentFrom) return { watermark, records: [], snapshot: toSnapshot(state) };
   const missing = state.recent.filter((record) => record.offset >= offset);
-  return { watermark, records: takeWithinBudget(missing), snapshot: null };
+  return { watermark, records: limitBytes(missing), snapshot: null };
 };
 
 /** Bounds of what the log still holds. */
@@ -117,8 +117,8 @@
   nonce: string,
 ): SnapshotRecord | null => {
   if (state.standing !== 'exact' || state.entities.size === 0) return null;
-  const middle = info.firstOffset + (state.nextOffset - info.firstOffset) * SNAPSHOT_DUE_SHARE;
-  const isCovered = info.snapshotAt !== null && info.snapshotAt >= middle;
+  const dueBelow = info.firstOffset + (state.nextOffset - info.firstOffset) * SNAPSHOT_DUE_FRACTION;
+  const isCovered = info.snapshotAt !== null && info.snapshotAt >= dueBelow;
   const isOffsetDue = info.firstOffset > 0 && !isCovered;
   const isCountDue = state.nextOffset - (info.snapshotAt ?? 0) >= SNAPSHOT_DUE_RECORDS;
   if (!isOffsetDue && !isCountDue && info.snapshotAgeMs < info.maxAgeMs) return null;
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -1,4 +1,4 @@
-import { RECENT_RECORDS } from './constants.js';
+import { MAX_RECENT_RECORDS } from './constants.js';
 import type {
   ConfigurationState,
   ControlRecord,
@@ -32,8 +32,8 @@
   entities: new Map(),
   recent: [],
   standing: 'exact',
-  unbased: [],
-  unbasedFrom: 0,
+  deferred: [],
+  gapEnd: 0,
 });
 
 /**
@@ -132,8 +132,8 @@
     }
     // Every daemon that sees the second crash appends one; a later expiry prolongs the first.
     case 'quarantine': {
-      const longer = checkQuarantine(known, record);
-      return longer === null ? { kind: 'effective' } : { kind: 'void', winner: longer };
+      const winner = checkQuarantine(known, record);
+      return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
     }
     default:
       return assertNever(record);
@@ -164,13 +164,14 @@
 ): ConfigurationState => {
   if (state.standing === 'exact') return state;
   // A snapshot that was appended late misses the records between its offset and the gap's end.
-  if (record.asOf < state.unbasedFrom) return state;
-  const newer = state.unbased.filter(({ offset }) => offset >= record.asOf);
-  const entities = newer.reduce<Entities>(
-    (base, { offset, record: unbased }) => applyRecord(base, unbased, offset).entities,
+  if (record.asOf < state.gapEnd) return state;
+  const remaining = state.deferred.filter(({ offset }) => offset >= record.asOf);
+  const entities = remaining.reduce<Entities>(
+    (base, { offset, record: deferredRecord }) =>
+      applyRecord(base, deferredRecord, offset).entities,
     toEntities(record.entities),
   );
-  return { ...state, entities, standing: 'exact', unbased: [] };
+  return { ...state, entities, standing: 'exact', deferred: [] };
 };
 
 const applyControl = (state: ConfigurationState, record: ControlRecord, offset: Offset): Fold => {
@@ -179,8 +180,8 @@
     return { state: applySnapshotRecord(state, record), result };
   }
   if (state.standing === 'needs-snapshot') {
-    const unbased = [...state.unbased, { offset, record }];
-    return { state: { ...state, unbased }, result: { kind: 'known' } };
+    const deferred = [...state.deferred, { offset, record }];
+    return { state: { ...state, deferred }, result: { kind: 'known' } };
   }
   const { entities, result } = applyRecord(state.entities, record, offset);
   return { state: { ...state, entities }, result };
@@ -204,7 +205,7 @@
   const seen = {
     ...state,
     nextOffset: raw.offset + 1,
-    recent: [...state.recent, raw].slice(-RECENT_RECORDS),
+    recent: [...state.recent, raw].slice(-MAX_RECENT_RECORDS),
   };
   if (record === null) return { state: seen, result: { kind: 'known' } };
   return applyControl(seen, record, raw.offset);
@@ -225,8 +226,8 @@
         nextOffset: firstOffset,
         recent: [],
         standing: 'needs-snapshot',
-        unbased: [],
-        unbasedFrom: firstOffset,
+        deferred: [],
+        gapEnd: firstOffset,
       };
 
 /**
@@ -237,9 +238,9 @@
  */
 export const closeGap = (state: ConfigurationState): ConfigurationState => {
   if (state.standing === 'exact') return state;
-  const entities = state.unbased.reduce<Entities>(
+  const entities = state.deferred.reduce<Entities>(
     (base, { offset, record }) => applyRecord(base, record, offset).entities,
     state.entities,
   );
-  return { ...state, entities, standing: 'exact', unbased: [] };
+  return { ...state, entities, standing: 'exact', deferred: [] };
 };
--- a/packages/decisions/configuration/records.ts
+++ b/packages/decisions/configuration/records.ts
@@ -84,10 +84,10 @@
 
 const snapshotSchema = z.object({ nextOffset: offset, entities: z.array(entrySchema) });
 
-const toFailure = (error: z.ZodError, what: string): Failure => {
+const toFailure = (error: z.ZodError, subject: string): Failure => {
   const issue = error.issues[0];
   const field = issue?.path.join('.') ?? '';
-  const text = `${what}: field "${field}": ${issue?.message ?? 'invalid'}`;
+  const text = `${subject}: field "${field}": ${issue?.message ?? 'invalid'}`;
   return createFailure('not-run', 'bad-request', text);
 };
 
--- a/packages/decisions/configuration/referenceFold.fixture.ts
+++ b/packages/decisions/configuration/referenceFold.fixture.ts
@@ -14,7 +14,7 @@
   readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
-interface PlainRecord {
+interface ReferenceRecord {
   readonly kind: string;
   readonly format: number;
   readonly entity: string;
@@ -23,16 +23,19 @@
   readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
-type Table = Map<string, ReferenceEntry>;
+type ReferenceTable = Map<string, ReferenceEntry>;
 
-const checkPlain = (table: Table, record: PlainRecord): Winner | 'unknown' | null => {
-  const own = table.get(`${record.kind} ${record.entity}`);
+const checkReference = (
+  table: ReferenceTable,
+  record: ReferenceRecord,
+): Winner | 'unknown' | null => {
+  const known = table.get(`${record.kind} ${record.entity}`);
   const move = table.get(`move ${record.entity}`);
   const ended = table.get(`move-ended ${record.entity}`);
   const isEnded = (ended?.offset ?? -1) > (move?.offset ?? -1);
   if (record.kind === 'quarantine') {
-    const isShorter = (own?.body.expiresAt ?? -1) >= (record.body.expiresAt ?? 0);
-    return isShorter ? (own ?? null) : null;
+    const isShorter = (known?.body.expiresAt ?? -1) >= (record.body.expiresAt ?? 0);
+    return isShorter ? (known ?? null) : null;
   }
   if (record.kind === 'move-ended') {
     if (move === undefined) return 'unknown';
@@ -41,11 +44,11 @@
   }
   if (record.kind === 'move-notified') {
     if (ended === undefined || ended.offset !== record.body.endedAt) return 'unknown';
-    return own?.body.endedAt === record.body.endedAt ? (own ?? null) : null;
+    return known?.body.endedAt === record.body.endedAt ? (known ?? null) : null;
   }
-  if (record.kind === 'move' && own !== undefined && !isEnded) return own;
-  if (record.basedOn === (own?.offset ?? null)) return null;
-  return own ?? 'unknown';
+  if (record.kind === 'move' && known !== undefined && !isEnded) return known;
+  if (record.basedOn === (known?.offset ?? null)) return null;
+  return known ?? 'unknown';
 };
 
 /**
@@ -56,12 +59,12 @@
  */
 export const foldReference = (
   history: readonly RawRecord[],
-): { readonly entities: Table; readonly rows: readonly ReferenceRow[] } => {
-  const entities: Table = new Map();
+): { readonly entities: ReferenceTable; readonly rows: readonly ReferenceRow[] } => {
+  const entities: ReferenceTable = new Map();
   const rows = history.map(({ offset, body }): ReferenceRow => {
-    const record = body as PlainRecord;
+    const record = body as ReferenceRecord;
     if (record.format !== 1 || record.kind === 'snapshot') return { kind: 'other' };
-    const winner = checkPlain(entities, record);
+    const winner = checkReference(entities, record);
     if (winner === 'unknown') return { kind: 'void', winner: null };
     if (winner !== null) {
       return { kind: 'void', winner: { offset: winner.offset, author: winner.author } };
--- a/packages/decisions/configuration/retentionSimulation.fixture.ts
+++ b/packages/decisions/configuration/retentionSimulation.fixture.ts
@@ -21,7 +21,7 @@
 export const findUncovered = (run: RetentionRun): number | null => {
   let state = createConfiguration();
   const log: { readonly at: number; readonly asOf: number | null }[] = [];
-  const waiting: { readonly at: number; readonly asOf: number }[] = [];
+  const pending: { readonly at: number; readonly asOf: number }[] = [];
   let firstOffset = 0;
   let now = 0;
   const append = (at: number, asOf: number | null): void => {
@@ -39,21 +39,21 @@
     const record = asOf === null ? { ...entity, body, basedOn } : null;
     state = foldControlRecord(state, raw, record).state;
   };
-  const settleUntil = (until: number): void => {
-    while (waiting[0] !== undefined && waiting[0].at <= until) {
-      const next = waiting.shift() as { at: number; asOf: number };
+  const appendUntil = (until: number): void => {
+    while (pending[0] !== undefined && pending[0].at <= until) {
+      const next = pending.shift() as { at: number; asOf: number };
       append(next.at, next.asOf);
     }
   };
   for (const gap of run.gapsMs) {
     now += gap;
-    settleUntil(now);
+    appendUntil(now);
     append(now, null);
     while ((log[firstOffset]?.at ?? now) < now - run.retentionMs) firstOffset += 1;
     firstOffset = Math.max(firstOffset, log.length - run.retentionRecords);
     const newest = Math.max(-1, ...log.slice(firstOffset).map(({ asOf }) => asOf ?? -1));
     if (firstOffset > 0 && newest < firstOffset) return firstOffset;
-    if (waiting.length > 0) continue;
+    if (pending.length > 0) continue;
     const index = log.findLastIndex(({ asOf }) => asOf === newest);
     const since = newest < 0 ? (log[firstOffset]?.at ?? now) : (log[index]?.at ?? now);
     const info = {
@@ -64,7 +64,7 @@
       now,
     };
     const plan = planSnapshot(state, info, 'a', 'n');
-    if (plan !== null) waiting.push({ at: now + run.appendDelayMs, asOf: plan.asOf });
+    if (plan !== null) pending.push({ at: now + run.appendDelayMs, asOf: plan.asOf });
   }
   return null;
 };
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -117,9 +117,9 @@
   /** Whether records were dropped before they were read, so that a snapshot is needed. */
   readonly standing: 'exact' | 'needs-snapshot';
   /** Records read since the gap, until a snapshot gives them their base. */
-  readonly unbased: readonly { readonly offset: Offset; readonly record: EntityRecord }[];
+  readonly deferred: readonly { readonly offset: Offset; readonly record: EntityRecord }[];
   /** First offset read after the gap; only a snapshot that reaches it closes the gap. */
-  readonly unbasedFrom: Offset;
+  readonly gapEnd: Offset;
 }
 
 /** State that one process hands to another. */
--- a/packages/decisions/configuration/view.ts
+++ b/packages/decisions/configuration/view.ts
@@ -10,7 +10,7 @@
 
 type EntryOf<Kind extends EntityEntry['kind']> = Extract<EntityEntry, { readonly kind: Kind }>;
 
-const listOf = <Kind extends EntityEntry['kind']>(
+const listEntries = <Kind extends EntityEntry['kind']>(
   state: ConfigurationState,
   kind: Kind,
 ): readonly EntryOf<Kind>[] =>
@@ -40,19 +40,21 @@
  */
 export const buildView = (state: ConfigurationState): ConfigurationView => {
   const classes = new Map<string, PublishedClass>();
-  const targets = [...listOf(state, 'targets')].sort((left, right) => left.offset - right.offset);
+  const targets = [...listEntries(state, 'targets')].sort(
+    (left, right) => left.offset - right.offset,
+  );
   for (const { body } of targets) {
     for (const published of body.classes) classes.set(published.className, published);
   }
   return {
     offset: state.nextOffset,
     classes,
-    dataCentresOut: listOf(state, 'data-centre')
+    dataCentresOut: listEntries(state, 'data-centre')
       .filter(({ body }) => body.state === 'out')
       .map(({ entity }) => entity),
-    moves: listOf(state, 'move').map((move) => toMoveView(state, move)),
+    moves: listEntries(state, 'move').map((move) => toMoveView(state, move)),
     quarantined: new Map(
-      listOf(state, 'quarantine').map(({ entity, body }) => [entity, body.expiresAt]),
+      listEntries(state, 'quarantine').map(({ entity, body }) => [entity, body.expiresAt]),
     ),
   };
 };
