--- a/packages/decisions/moves/types.ts
+++ b/packages/decisions/moves/types.ts
@@ -10,7 +10,7 @@
   VersionName,
 } from '../../core/ids.js';
 
-/** Record that moves a model's traffic from one version to another. */
+/** Gradual move of a model's traffic from one version to another, as recorded in the log. */
 export interface Move {
   readonly name: string;
   readonly model: ModelName;
@@ -20,33 +20,33 @@
   readonly deadline: Millis;
 }
 
-/** Outcome of a terminal record. */
+/** Outcome of a terminal record: `taken-back` means that the move was rolled back. */
 export type MoveOutcome = 'done' | 'taken-back';
 
-/** `old` is the version that the move comes from. */
+/** Version of a move: `old` is the one that traffic moves from, `new` the one that it moves to. */
 export type VersionSide = 'old' | 'new';
 
-/** `failure`: failed among all answers. `slow`: slow among the answers that succeeded. */
+/** `failure`: failures among all answers. `slow`: slow answers among the successful ones. */
 export type FaultMetric = 'failure' | 'slow';
 
-/** Place in which the versions are compared. */
+/** Class, data centre and route for which the versions are compared. */
 export interface CellName {
   readonly className: ClassName;
   readonly dataCentre: DataCentreId;
   readonly route: string;
 }
 
-/** Cumulative counts of one class and route since the incarnation started. */
+/** Cumulative counts of one class and route since the start of the endpoint's incarnation. */
 export interface EvidenceCounts {
   readonly route: string;
   readonly className: ClassName;
   readonly successes: number;
   readonly failures: number;
-  /** Successes that were slower than the class's target. */
+  /** Successes that were slower than the target of their class. */
   readonly slow: number;
 }
 
-/** Evidence of one endpoint's heartbeat. */
+/** Counts that one endpoint's heartbeat carries. */
 export interface EvidenceReport {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
@@ -55,87 +55,97 @@
   readonly counts: readonly EvidenceCounts[];
 }
 
-/** Faults among answers for both metrics. */
+/** Tallies by metric. */
 export type Tallies = Readonly<Record<FaultMetric, Tally>>;
 
-/** Tallies of both versions over the same time. */
+/** Tallies of both versions over the same period. */
 export type SideTallies = Readonly<Record<VersionSide, Tallies>>;
 
-/** Both tests of one metric. */
+/** Sequential tests of one metric. */
 export interface MetricTests {
-  /** Against answers of the old version at the same time. */
+  /** Concurrent control: compares with answers of the old version from the same period. */
   readonly concurrent: SequentialTest;
-  /** Against the past of the old version; works when it gets no traffic any more. */
+  /**
+   * Historical control: compares with earlier answers of the old version, so it still works once
+   * that version receives no traffic.
+   */
   readonly historical: SequentialTest;
 }
 
 /** Counts and tests of one class, data centre and route. */
 export interface Cell {
   readonly name: CellName;
-  /** Everything counted since the move began to be watched. */
+  /** Counts since this daemon started to track the move. */
   readonly total: SideTallies;
-  /** Counts since the last comparison at the same time, and the looks they have waited. */
+  /** Counts since the last concurrent comparison. */
   readonly stratum: SideTallies;
+  /** Evaluations that the stratum has waited for enough answers. */
   readonly stratumEvaluations: number;
-  /** Counts since the last look. */
+  /** Counts since the last evaluation. */
   readonly latest: SideTallies;
-  /** Counts that fade with each look. */
+  /** Counts that decay at each evaluation. */
   readonly recent: SideTallies;
   readonly tests: Readonly<Record<FaultMetric, MetricTests>>;
 }
 
-/** What one report key has contributed. */
+/** Counts reported under one key of endpoint, incarnation, version, class and route. */
 export interface ReportedCounts {
+  /** First counts of the old version, subtracted to leave out earlier answers; zero for the new. */
   readonly baseline: EvidenceCounts;
   readonly newest: EvidenceCounts;
 }
 
 /**
- * Evidence of one move. The tables are updated in place, since each heartbeat writes to them; only
- * `evidence.ts` does. Counts of dead incarnations stay in.
+ * Evidence of one move. The maps are updated in place, because each heartbeat writes to them; only
+ * `evidence.ts` does so. Counts of incarnations that have ended are kept.
  */
 export interface Evidence {
   readonly reported: Map<string, ReportedCounts>;
   readonly cells: Map<string, Cell>;
-  /** Product over all cells, which finds a weak fault that is spread over them. */
+  /** Tests over all cells together, which detect a weak fault that is spread over them. */
   readonly overall: Readonly<Record<FaultMetric, MetricTests>>;
   readonly evaluatedAt: Millis;
+  /** Instant of the newest report of the new version. */
   readonly newVersionReportAt: Millis;
 }
 
-/** Where a clear fault was found. */
+/** Statistically significant fault of the new version. */
 export interface FaultFinding {
   readonly metric: FaultMetric;
-  /** Null when the fault shows only over all cells together. */
+  /** Null when the fault is significant only over all cells together. */
   readonly cell: CellName | null;
 }
 
-/** Share of the new version by route, or a stop because of a clear fault. */
+/** Share of the new version by route, or a stop because of a significant fault. */
 export type ShareDecision =
   | { readonly kind: 'stop'; readonly finding: FaultFinding }
   | {
       readonly kind: 'shares';
       readonly routes: ReadonlyMap<string, number>;
       readonly progress: 'growing' | 'full';
+      /** Whether a fault is suspected on any route, without being significant yet. */
       readonly suspicion: 'none' | 'some';
     };
 
-/** `stopping` and `finishing` wait until a terminal record is read back from the log. */
+/** `stopping` and `finishing` last until a terminal record is read back from the log. */
 export type MovePhase = 'idle' | 'moving' | 'stopping' | 'finishing' | 'done' | 'taken-back';
 
-/** One move at an entry daemon. */
+/** State of one move at an entry daemon. */
 export interface MoveState {
   readonly phase: MovePhase;
   readonly move: Move | null;
   readonly evidence: Evidence;
+  /** Share of the new version by route. */
   readonly routes: ReadonlyMap<string, number>;
+  /** Instant since which all routes are at full share. */
   readonly fullSince: Millis | null;
-  /** Instant of the newest append of a terminal record. */
+  /** Instant of the latest append of a terminal record. */
   readonly terminalAppendAt: Millis;
+  /** Whether an operator was called because the move may miss its deadline. */
   readonly operator: 'not-asked' | 'asked';
 }
 
-/** What an entry daemon learns of a move; it ticks every 500 ms. */
+/** Input of a move's decision at an entry daemon; `tick` comes every 500 ms. */
 export type MoveEvent =
   | { readonly kind: 'move-record'; readonly move: Move; readonly now: Millis }
   | {
@@ -148,7 +158,7 @@
   | { readonly kind: 'take-back-order'; readonly author: string; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Shares to apply, records to append and reports to operators. */
+/** Shares to apply, records to append and notifications of operators. */
 export type MoveEffect =
   | { readonly kind: 'shares-changed'; readonly routes: ReadonlyMap<string, number> }
   | {
