Reword the comments of the sequential tests and the evidence

'Safe under looking at any time', 'the past of the old version' and 'faults of both versions prove nothing' were hard to follow. The comments now use the terms of sequential testing: martingale, prior weight, likelihood ratio, confidence bound and Bonferroni correction.

--- a/packages/decisions/moves/evidence.ts
+++ b/packages/decisions/moves/evidence.ts
@@ -10,9 +10,9 @@
 } from './constants.js';
 import {
   SIGNIFICANT_LOG_EVIDENCE,
-  computeLogEvidence,
-  computeHistoricalLogRatio,
   computeConcurrentLogRatio,
+  computeHistoricalLogRatio,
+  computeLogEvidence,
   computeRateUpperBound,
   initSequentialTest,
   updateSequentialTest,
@@ -49,7 +49,7 @@
 };
 
 /**
- * Creates the evidence of a move that begins to be watched.
+ * Creates the evidence of a move when a daemon starts to track it.
  *
  * @param now - current instant
  * @returns evidence without counts
@@ -96,7 +96,7 @@
   };
 };
 
-/** Counts only grow, so the larger one is the newer, whatever order the reports arrive in. */
+/** Counts are cumulative, so the larger one is the newer, in whatever order the reports arrive. */
 const mergeCounts = (left: EvidenceCounts, right: EvidenceCounts): EvidenceCounts => ({
   ...left,
   successes: Math.max(left.successes, right.successes),
@@ -129,7 +129,7 @@
   const { endpoint, incarnation, dataCentre, version } = report;
   const key = JSON.stringify([endpoint, incarnation, version, className, route]);
   const reported = evidence.reported.get(key);
-  // The past of the old version belongs to another time; the new one has none before the move.
+  // Answers of the old version from before the move are from another period; the new has none.
   const empty = { ...counts, successes: 0, failures: 0, slow: 0 };
   const baseline = reported?.baseline ?? (side === 'old' ? counts : empty);
   const before = reported?.newest ?? baseline;
@@ -149,14 +149,14 @@
 };
 
 /**
- * Adds one endpoint's cumulative counts. Repeated, late and reordered reports change nothing that is
- * already counted, and counts of an incarnation that ended stay.
+ * Adds one endpoint's cumulative counts. Repeated, late and reordered reports are not counted
+ * twice, and counts of an incarnation that has ended are kept.
  *
- * @param evidence - evidence before the report; its tables are updated in place
- * @param move - move that names the versions
+ * @param evidence - evidence before the report; its maps are updated in place
+ * @param move - move whose versions are compared
  * @param report - counts of one heartbeat
  * @param now - current instant
- * @returns the evidence with the instant of the newest report
+ * @returns the evidence with the instant of the newest report of the new version
  */
 export const addEvidence = (
   evidence: Evidence,
@@ -170,7 +170,7 @@
   return side === 'new' ? { ...evidence, newVersionReportAt: now } : evidence;
 };
 
-/** Largest rate of the old version that its past and present leave possible. */
+/** Largest fault rate that the historical and recent answers of the old version allow for. */
 const computeTolerableRate = (cell: Cell, metric: FaultMetric): number => {
   const historical = computeRateUpperBound(cell.total.old[metric]) * DRIFT_FACTOR + DRIFT_MARGIN;
   const recent = cell.recent.old[metric];
@@ -208,8 +208,8 @@
 });
 
 const addLogRatios = (left: LogRatios, right: LogRatios): LogRatios => ({
-  concurrent: left.concurrent.map((factor, index) => factor + (right.concurrent[index] ?? 0)),
-  historical: left.historical.map((factor, index) => factor + (right.historical[index] ?? 0)),
+  concurrent: left.concurrent.map((ratio, index) => ratio + (right.concurrent[index] ?? 0)),
+  historical: left.historical.map((ratio, index) => ratio + (right.historical[index] ?? 0)),
 });
 
 const updateCell = (
@@ -240,12 +240,12 @@
 };
 
 /**
- * Compares the versions on what was counted since the last look.
+ * Evaluates the counts since the last evaluation and updates the tests of all cells.
  *
- * @param evidence - evidence before the look; its tables are updated in place
- * @param move - move that gives the time over which faults may begin
+ * @param evidence - evidence before the evaluation; its maps are updated in place
+ * @param move - move whose duration the start times of faults are spread over
  * @param now - current instant
- * @returns the evidence after the look
+ * @returns the evidence after the evaluation
  */
 export const compareVersions = (evidence: Evidence, move: Move, now: Millis): Evidence => {
   const elapsed = Math.max(0, now - evidence.evaluatedAt);
@@ -273,9 +273,9 @@
   Math.max(computeLogEvidence(tests.concurrent), computeLogEvidence(tests.historical));
 
 /**
- * Finds a fault of the new version that is clear at the stated false-alarm rate.
+ * Finds a fault of the new version that is significant at `FALSE_ALARM_RATE`.
  *
- * @param evidence - evidence after its newest look
+ * @param evidence - evidence after its latest evaluation
  * @returns the fault, or null
  */
 export const findSignificantFault = (evidence: Evidence): FaultFinding | null => {
@@ -290,13 +290,15 @@
   return null;
 };
 
-/** What the evidence says about one route. */
+/** Evidence of one route over its classes and data centres. */
 export interface RouteEvidence {
   /** Answers of the new version. */
   readonly answers: number;
+  /** Decaying counts of recent answers of the old version. */
   readonly recentOld: number;
+  /** Decaying counts of recent answers of the new version. */
   readonly recentNew: number;
-  /** Largest evidence against the new version, as a logarithm. */
+  /** Largest log evidence against the new version. */
   readonly logEvidence: number;
 }
 
@@ -305,7 +307,7 @@
 /**
  * Collects the evidence by route.
  *
- * @param evidence - evidence after its newest look
+ * @param evidence - evidence after its latest evaluation
  * @returns one entry for each route on which a version answered
  */
 export const collectRouteEvidence = (evidence: Evidence): ReadonlyMap<string, RouteEvidence> => {
--- a/packages/decisions/moves/sequentialTest.ts
+++ b/packages/decisions/moves/sequentialTest.ts
@@ -1,31 +1,31 @@
 import { EARLY_FAULT_WEIGHT, FALSE_ALARM_RATE, MAX_CELLS, ODDS_RATIOS } from './constants.js';
 
-/** Faults among answers. */
+/** Number of answers, and of the faults among them. */
 export interface Tally {
   readonly answers: number;
   readonly faults: number;
 }
 
 /**
- * Test martingale for "the new version is worse", safe under looking at any time. For each odds
- * ratio it keeps the weighted sum, over the possible instants at which a fault began, of the
- * likelihood ratios since then. If the new version is not worse, the mean of the whole stays at
- * most 1, so it ever exceeds 1/a with a probability of at most a (Ville's inequality).
+ * Test martingale for "the new version is worse", valid however often it is evaluated. For each
+ * odds ratio it keeps the weighted sum, over the possible start times of a fault, of the likelihood
+ * ratio since then. If the new version is not worse, the expectation of the total stays at most 1,
+ * so the total ever exceeds 1/a with a probability of at most a (Ville's inequality).
  */
 export interface SequentialTest {
-  /** Logarithm of the sum over instants that have passed, by odds ratio. */
+  /** Logarithm of the weighted sum over start times that have passed, by odds ratio. */
   readonly logSums: readonly number[];
-  /** Weight of the instants that have not passed. */
+  /** Prior weight of the start times that have not passed. */
   readonly remainingWeight: number;
 }
 
-/** Evidence, as a logarithm, at which a fault is clear: a Bonferroni share of the false alarms. */
+/** Log evidence of a significant fault, with a Bonferroni correction for four tests per cell. */
 export const SIGNIFICANT_LOG_EVIDENCE = Math.log((4 * MAX_CELLS) / FALSE_ALARM_RATE);
 
 /**
- * Creates a test that has seen nothing.
+ * Creates a test without observations.
  *
- * @returns a test with the weight of early faults in it
+ * @returns a test that holds the prior weight of faults present from the start
  */
 export const initSequentialTest = (): SequentialTest => ({
   logSums: ODDS_RATIOS.map(() => Math.log(EARLY_FAULT_WEIGHT)),
@@ -38,29 +38,29 @@
 };
 
 /**
- * Adds one look to a test.
+ * Adds the observations of one evaluation to a test.
  *
- * @param test - test before the look
- * @param logFactors - logarithm of the likelihood ratio of the look, by odds ratio
- * @param weight - weight of a fault that began just before this look
- * @returns the test after it
+ * @param test - test before the evaluation
+ * @param logRatios - logarithm of the likelihood ratio of the observations, by odds ratio
+ * @param weight - prior weight of a fault that began just before these observations
+ * @returns the test after the evaluation
  */
 export const updateSequentialTest = (
   test: SequentialTest,
-  logFactors: readonly number[],
+  logRatios: readonly number[],
   weight: number,
 ): SequentialTest => {
   const usedWeight = Math.min(test.remainingWeight, weight);
   const logSums = test.logSums.map(
-    (logSum, index) => computeLogSumExp(logSum, Math.log(usedWeight)) + (logFactors[index] ?? 0),
+    (logSum, index) => computeLogSumExp(logSum, Math.log(usedWeight)) + (logRatios[index] ?? 0),
   );
   return { logSums, remainingWeight: test.remainingWeight - usedWeight };
 };
 
 /**
- * Computes the evidence against the new version.
+ * Computes the evidence against the new version, averaged over the odds ratios.
  *
- * @param test - test to read
+ * @param test - test of the new version
  * @returns logarithm of the evidence ratio; 0 without evidence
  */
 export const computeLogEvidence = (test: SequentialTest): number =>
@@ -69,16 +69,17 @@
     Math.log(test.remainingWeight),
   );
 
-/** Sum above which partial sums are scaled down, far below the largest number. */
+/** Bound above which partial sums are scaled down, well below the largest finite number. */
 const SCALE_LIMIT = 1e150;
 
 /**
- * Computes how much better an odds ratio explains which version the faults fell on than chance
- * does, given the number of faults and answers (Fisher's noncentral hypergeometric distribution).
- * The rate of faults itself cancels, so that faults of both versions prove nothing.
+ * Computes the likelihood ratio of an odds ratio against equal versions, for the way the faults are
+ * split between them, given the numbers of faults and answers (Fisher's noncentral hypergeometric
+ * distribution). The fault rate itself cancels out, so faults that affect both versions alike are
+ * no evidence.
  *
  * @param newTally - answers of the new version
- * @param oldTally - answers of the old version in the same time and place
+ * @param oldTally - answers of the old version in the same period and cell
  * @param oddsRatio - odds ratio of new to old
  * @returns logarithm of the likelihood ratio
  */
@@ -120,12 +121,12 @@
 };
 
 /**
- * Computes how much better an odds ratio explains the faults than a given rate does.
+ * Computes the likelihood ratio of an odds ratio against a given fault rate.
  *
  * @param tally - answers of the new version
- * @param rate - largest rate of faults that is no fault of the version
- * @param oddsRatio - odds ratio to that rate
- * @returns logarithm of the likelihood ratio
+ * @param rate - largest fault rate that does not count against the version
+ * @param oddsRatio - odds ratio relative to that rate
+ * @returns logarithm of the likelihood ratio; 0 for a rate outside (0, 1)
  */
 export const computeHistoricalLogRatio = (
   tally: Tally,
@@ -144,14 +145,15 @@
   return hit + miss;
 };
 
-/** Halvings of the search interval; enough for a precision of one in a million. */
+/** Bisections of the search interval; enough for a precision of one in a million. */
 const BISECTION_STEPS = 24;
 
 /**
- * Computes an upper bound of a rate that holds at all times together with the probability
- * `1 - FALSE_ALARM_RATE / MAX_CELLS` (mixture of likelihoods with a uniform prior).
+ * Computes an upper confidence bound of a fault rate that holds at all evaluations simultaneously
+ * with a probability of `1 - FALSE_ALARM_RATE / MAX_CELLS` (likelihood mixture with a uniform
+ * prior).
  *
- * @param tally - faults among answers
+ * @param tally - faults and answers
  * @returns the bound; 1 without answers
  */
 export const computeRateUpperBound = ({ answers, faults }: Tally): number => {
--- a/packages/decisions/moves/share.ts
+++ b/packages/decisions/moves/share.ts
@@ -1,34 +1,34 @@
 import {
   CANARY_SHARE,
-  SUSPICION_RATIO,
-  SUSPICION_MAX_STAGE,
   EVIDENCE_MAX_AGE_MS,
   RAMP_TIME_FRACTION,
   SHARE_STAGES,
   STAGE_MIN_ANSWERS,
+  SUSPICION_MAX_STAGE,
+  SUSPICION_RATIO,
 } from './constants.js';
 import { collectRouteEvidence, findSignificantFault } from './evidence.js';
 import type { RouteEvidence } from './evidence.js';
 import type { Evidence, Move, ShareDecision, VersionSide } from './types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Values of a request hash: the hash is an unsigned number of 32 bits. */
+/** Number of values of a request hash, an unsigned 32-bit integer. */
 const HASH_VALUES = 2 ** 32;
 
 /**
- * Chooses the version for one request. A request that goes to the new version at one share goes
- * there at every larger one.
+ * Chooses the version for one request. A request that is sent to the new version at one share is
+ * sent there at every larger one.
  *
  * @param share - share of the new version, from 0 to 1
- * @param requestHash - hash of the request's id, an unsigned number of 32 bits
- * @returns the version's side
+ * @param requestHash - hash of the request's id, an unsigned 32-bit integer
+ * @returns the chosen version
  */
 export const chooseVersion = (share: number, requestHash: number): VersionSide =>
   requestHash / HASH_VALUES < share ? 'new' : 'old';
 
 const computeTimeStage = (move: Move, now: Millis): number => {
   const growthMs = (move.deadline - move.startedAt) * RAMP_TIME_FRACTION;
-  // One interval more than stages, so that the full share is reached with time to soak.
+  // There is one more interval than there are stages, so that the full share has time to soak.
   return Math.floor(((now - move.startedAt) / growthMs) * (SHARE_STAGES.length + 1));
 };
 
@@ -38,13 +38,13 @@
 };
 
 /**
- * Decides the share of the new version on each route from the record, the time and the evidence
- * alone, so that entry daemons with the same evidence decide the same.
+ * Decides the share of the new version on each route. The decision depends only on the move, the
+ * time and the evidence, so entry daemons with the same evidence decide alike.
  *
  * @param move - record of the move
- * @param evidence - evidence after its newest look
+ * @param evidence - evidence after its latest evaluation
  * @param now - current instant
- * @returns the shares, or a stop
+ * @returns the shares, or a stop with the fault that was found
  */
 export const decideShare = (move: Move, evidence: Evidence, now: Millis): ShareDecision => {
   const finding = findSignificantFault(evidence);
