Reword the comments of the move and its notices

'Tells the share', 'as long as it may' and 'names the end for good' now say what is returned, when the soak is cut short and that the offset identifies the end. The takeover of a notice names its two delays.

--- a/packages/decisions/moves/move.ts
+++ b/packages/decisions/moves/move.ts
@@ -1,13 +1,13 @@
 import {
   APPEND_RETRY_MS,
   CANARY_SHARE,
-  FINAL_TIME_FRACTION,
-  MOVED_MAX_OLD_SHARE,
   ESCALATION_TIME_FRACTION,
+  FINAL_TIME_FRACTION,
   MIN_SOAK_MS,
+  MOVED_MAX_OLD_SHARE,
   SOAK_TIME_FRACTION,
 } from './constants.js';
-import { addEvidence, collectRouteEvidence, initEvidence, compareVersions } from './evidence.js';
+import { addEvidence, collectRouteEvidence, compareVersions, initEvidence } from './evidence.js';
 import { decideShare } from './share.js';
 import type {
   Evidence,
@@ -26,7 +26,7 @@
 
 type MoveStep = Step<MoveState, MoveEffect>;
 
-/** State while a move is watched. */
+/** State of a daemon that tracks a move. */
 type StateWithMove = MoveState & { readonly move: Move };
 
 const NO_ROUTES: ReadonlyMap<string, number> = new Map();
@@ -47,9 +47,9 @@
 });
 
 /**
- * Tells the share of the new version for a request on a route.
+ * Returns the share of requests on a route that go to the new version.
  *
- * @param state - move
+ * @param state - state of the move
  * @param route - route of the request
  * @returns the share, from 0 to 1
  */
@@ -76,7 +76,7 @@
   return toStep({ ...initMove(), phase: 'moving', move, evidence: initEvidence(now) });
 };
 
-/** The first terminal record in log order is final; the log delivers records in order. */
+/** The log delivers records in order, and the first terminal record is final. */
 const applyTerminalRecord = (state: MoveState, name: string, outcome: MoveOutcome): MoveStep => {
   const isFinal = state.phase === 'done' || state.phase === 'taken-back';
   if (state.move?.name !== name || isFinal) return toStep(state);
@@ -120,7 +120,10 @@
     ({ recentOld, recentNew }) => recentOld <= MOVED_MAX_OLD_SHARE * (recentOld + recentNew),
   );
 
-/** A late fault is caught only while the move is open, so it stays open as long as it may. */
+/**
+ * Reports whether the move was at full share for long enough. A late fault is detected only while
+ * the move is open, so the soak is cut short only near the deadline.
+ */
 const isSoaked = ({ move, fullSince }: StateWithMove, now: Millis): boolean => {
   if (fullSince === null || now - fullSince < MIN_SOAK_MS) return false;
   const duration = move.deadline - move.startedAt;
@@ -178,7 +181,7 @@
     case 'moving':
       return updateShares(state, now);
     case 'finishing': {
-      // A fault that shows before the record is read back still takes the version back.
+      // A fault found before the record is read back still rolls the move back.
       const step = updateShares(state, now);
       const isWaiting = step.state.phase === 'finishing' && !isAppendDue;
       const effects = step.effects.filter((effect) => effect.kind !== 'append-ended');
@@ -211,9 +214,9 @@
 /**
  * Decides one event of a version move at an entry daemon.
  *
- * @param state - move before the event; the tables of its evidence are updated in place
- * @param event - record of the log, evidence, order of an operator or tick
- * @returns the next state, and shares to apply or records to append
+ * @param state - state before the event; the maps of its evidence are updated in place
+ * @param event - record of the log, evidence, operator's order or tick
+ * @returns the next state, with shares to apply, records to append and notifications
  */
 export const decideMove = (state: MoveState, event: MoveEvent): MoveStep => {
   switch (event.kind) {
--- a/packages/decisions/moves/noticeTypes.ts
+++ b/packages/decisions/moves/noticeTypes.ts
@@ -2,40 +2,41 @@
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 
-/** The end of a move, as its terminal record tells it. */
+/** End of a move, taken from its terminal record. */
 export interface EndedMove {
   readonly name: string;
-  /** Offset of the terminal record; names the end for good. */
+  /** Offset of the terminal record, which identifies the end. */
   readonly endedAt: Offset;
   readonly outcome: MoveOutcome;
   readonly reason: string;
 }
 
 /**
- * Progress of a notice at one daemon. `sent` ones wait until the log shows the record that tells the
- * others.
+ * Progress of a notice at one daemon. A `sent` notice is kept until the record that informs the
+ * other daemons is read back from the log.
  */
 export type NoticePhase = 'waiting' | 'sending' | 'sent';
 
 export interface OpenNotice {
   readonly ended: EndedMove;
   readonly phase: NoticePhase;
-  /** When the next attempt to send or to append is due. */
+  /** Instant at which the next attempt to send or append is due. */
   readonly dueAt: Millis;
+  /** Failed attempts to send. */
   readonly failures: number;
 }
 
-/** Notices that no record in the log shows as sent, by their id. */
+/** Notices by id that the log does not show as sent. */
 export type NoticeState = ReadonlyMap<string, OpenNotice>;
 
 export type NoticeEvent =
-  /** A terminal record is in force and nothing in the log tells that operators were notified. */
+  /** A terminal record is in force and the log does not show that operators were notified. */
   | {
       readonly kind: 'ended';
       readonly ended: EndedMove;
       /** Whether this process appended the terminal record. */
       readonly role: 'author' | 'other';
-      /** Place of this process in the order of take-over, in [0,1). */
+      /** Position of this process in the takeover order, in [0,1). */
       readonly order: number;
       readonly now: Millis;
     }
--- a/packages/decisions/moves/notices.ts
+++ b/packages/decisions/moves/notices.ts
@@ -2,8 +2,8 @@
   NOTICE_APPEND_RETRY_MS,
   NOTICE_RETRY_FIRST_MS,
   NOTICE_RETRY_MAX_MS,
-  NOTICE_TAKEOVER_SPREAD_MS,
   NOTICE_TAKEOVER_MS,
+  NOTICE_TAKEOVER_SPREAD_MS,
 } from './constants.js';
 import type {
   EndedMove,
@@ -20,8 +20,8 @@
 type NoticeStep = Step<NoticeState, NoticeEffect>;
 
 /**
- * Formats the id of a notice. It is the same whichever daemon sends it, so that its receiver can
- * drop repetitions.
+ * Formats the id of a notice. It is the same whichever daemon sends the notice, so that the
+ * receiver can drop duplicates.
  *
  * @param ended - end of the move
  * @returns the id
@@ -117,12 +117,12 @@
 };
 
 /**
- * Decides about the notices of ended moves. The daemon that appended the terminal record sends the
- * notice at once and then appends a record of it; a daemon that has not read that record after a
- * while sends the notice itself.
+ * Decides when to notify operators of ended moves. The daemon that appended the terminal record
+ * sends the notice at once and then appends a record of it. Another daemon takes over if it has not
+ * read that record after `NOTICE_TAKEOVER_MS` plus its share of `NOTICE_TAKEOVER_SPREAD_MS`.
  *
  * @param state - open notices of this process
- * @param event - what the log showed, how a call ended, or a tick
+ * @param event - record read from the log, result of a webhook call, or tick
  * @returns the next state, notices to send and records to append
  */
 export const decideNotice = (state: NoticeState, event: NoticeEvent): NoticeStep => {
