State the failure that each test of version moves guards against

Comments and titles spoke of ends that nobody hears of, of an author that saw the end coming and of surroundings that suffer. They now name the injected faults, the detectable fault and the takeover delay.

--- a/packages/decisions/moves/move.test.ts
+++ b/packages/decisions/moves/move.test.ts
@@ -5,9 +5,9 @@
 import { MOVE } from './moveSimulation.fixture.js';
 import {
   SIGNIFICANT_LOG_EVIDENCE,
-  computeLogEvidence,
-  computeHistoricalLogRatio,
   computeConcurrentLogRatio,
+  computeHistoricalLogRatio,
+  computeLogEvidence,
   computeRateUpperBound,
   initSequentialTest,
   updateSequentialTest,
@@ -24,8 +24,8 @@
   return result;
 };
 
-// Guards against a test whose false-alarm rate is not the stated one: under the null hypothesis
-// the mean of each likelihood ratio must be exactly 1.
+// Guards against a false-alarm rate above the stated one: under the null hypothesis the expectation
+// of each likelihood ratio must be exactly 1.
 test('likelihood ratios have mean 1 when the new version is as good as the old one', (t) => {
   const property = fc.property(
     fc.integer({ min: 1, max: 30 }),
@@ -54,7 +54,7 @@
   t.true(Math.abs(rate * hit + (1 - rate) * miss - 1) < 1e-9);
 });
 
-// Guards against numbers that overflow when a whole fleet fails at once.
+// Guards against overflow of the partial sums when a whole fleet fails at once.
 test('large counts give finite evidence in the right direction', (t) => {
   const worse = computeConcurrentLogRatio(
     { answers: 90_000, faults: 60_000 },
@@ -72,8 +72,8 @@
   t.is(computeRateUpperBound({ answers: 0, faults: 0 }), 1);
 });
 
-// Guards against false alarms by continuous looking: 20,000 looks at two equal versions.
-test('continuous looking at equal versions gives no clear fault', (t) => {
+// Guards against false alarms from repeated testing: two equal versions are evaluated 20,000 times.
+test('repeated evaluation of equal versions finds no significant fault', (t) => {
   const random = createRandomSource(SEED);
   const sampleTally = (answers: number) => ({
     answers,
@@ -82,7 +82,7 @@
   });
   let sequentialTest = initSequentialTest();
   let largest = 0;
-  for (let look = 0; look < 20_000; look += 1) {
+  for (let evaluation = 0; evaluation < 20_000; evaluation += 1) {
     const newTally = sampleTally(3);
     const old = sampleTally(12);
     const factors = [3, 10, 50].map((ratio) => computeConcurrentLogRatio(newTally, old, ratio));
@@ -92,14 +92,14 @@
   t.true(largest < SIGNIFICANT_LOG_EVIDENCE);
 });
 
-// Guards against evidence that is counted twice, taken back, or lost with its incarnation.
+// Guards against evidence that is counted twice, reduced by a late report, or lost at a restart.
 test('repeated, late and reordered reports add up to the newest count of each incarnation', (t) => {
   fc.assert(buildReportsProperty(), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
-// Guards against a request that changes its version back while the share grows.
-test('a request that goes to the new version stays there at every larger share', (t) => {
+// Guards against a request that switches back to the old version while the share grows.
+test('a request sent to the new version is sent there at every larger share', (t) => {
   const share = fc.double({ min: 0, max: 1, noNaN: true });
   const property = fc.property(share, share, fc.nat(2 ** 32 - 1), (left, right, hash) => {
     const larger = chooseVersion(Math.max(left, right), hash);
@@ -110,8 +110,8 @@
   t.is(chooseVersion(1, 2 ** 32 - 1), 'new');
 });
 
-// Guards against a stop that waits for the log, and against a lost append that is never repeated.
-test('a stop is local at once, and its record is appended until it is read back', (t) => {
+// Guards against a stop that waits for the log, and against a lost append that is never retried.
+test('a stop is effective locally at once, and its record is appended until read back', (t) => {
   const moving = decideMove(initMove(), { kind: 'move-record', move: MOVE, now: 0 }).state;
   t.is(getShare(moving, 'r'), 0.04);
   const stopped = decideMove(moving, { kind: 'take-back-order', author: 'o', now: 10 });
--- a/packages/decisions/moves/moveProperty.fixture.ts
+++ b/packages/decisions/moves/moveProperty.fixture.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { addEvidence, collectRouteEvidence, initEvidence, compareVersions } from './evidence.js';
+import { addEvidence, collectRouteEvidence, compareVersions, initEvidence } from './evidence.js';
 import { MOVE, runMove } from './moveSimulation.fixture.js';
 import type { MoveRun, VersionBehaviour } from './moveSimulation.fixture.js';
 import type { EvidenceReport } from './types.js';
@@ -31,16 +31,17 @@
   if (behaviour === 'good') return run.record.at <= MOVE.deadline ? null : 'after the deadline';
   if (run.lateRequestsToNew > 0) return `${run.lateRequestsToNew.toString()} requests after 5 s`;
   if (!BAD_FROM_START.has(behaviour)) return null;
-  // Each request is drawn by itself, so one run may deviate by three standard deviations.
+  // Requests are drawn independently, so one run may deviate by three standard deviations.
   const bound = 0.05 * run.requests + 3 * Math.sqrt(0.05 * run.requests);
   return run.requestsToNew <= bound ? null : `${run.requestsToNew.toString()} requests to the new`;
 };
 
 /**
- * Builds the property of P4: a good version finishes by its deadline, and a bad one is taken back
- * within 5 s and gets a small share.
+ * Builds the property of P4: the move to a good version finishes by its deadline; a bad version is
+ * taken back and receives no requests from 5 s after its fault is detectable, and one that is bad
+ * from the start receives at most a canary's share.
  *
- * @returns a fast-check property that throws with the violation
+ * @returns a fast-check property that throws an error with the violation
  */
 export const buildMoveProperty = () =>
   fc.property(fc.constantFrom(...BEHAVIOURS), fc.nat(MAX_SEED), (behaviour, seed) => {
@@ -50,11 +51,11 @@
   });
 
 /**
- * Builds an endpoint's report with equal numbers of each count.
+ * Builds an endpoint's report for one class and route.
  *
  * @param incarnation - incarnation of the endpoint daemon
  * @param version - version that it runs
- * @param successes - number of successes; half as many failed
+ * @param successes - number of successes; there are half as many failures
  * @returns the report
  */
 export const buildReport = (
--- a/packages/decisions/moves/moveSimulation.fixture.ts
+++ b/packages/decisions/moves/moveSimulation.fixture.ts
@@ -3,6 +3,7 @@
 import type { EvidenceCounts, Move, MoveEvent, MoveOutcome, MoveState } from './types.js';
 import { createRandomSource } from '../../core/random.js';
 
+/** Behaviour of the new version; the old one has no fault of its own. */
 export type VersionBehaviour =
   | 'good'
   | 'fails-always'
@@ -12,30 +13,33 @@
   | 'fails-under-load'
   | 'fails-on-one-route';
 
+/** Result of one simulated move, with the ground truth. */
 export interface MoveRun {
   /** First terminal record in the log, with the instant of its append. */
   readonly record: { readonly outcome: MoveOutcome; readonly at: number } | null;
-  /** Outcome at each entry daemon at the end. */
+  /** Final phase of the move at each entry daemon. */
   readonly phases: readonly string[];
-  /** Requests up to the last one that went to the new version, and those of the new version. */
+  /** Requests up to the last one that was sent to the new version. */
   readonly requests: number;
+  /** Requests that were sent to the new version. */
   readonly requestsToNew: number;
-  /** Requests to the new version later than 5 s after the fault was clear. */
+  /** Requests sent to the new version more than 5 s after its fault was detectable. */
   readonly lateRequestsToNew: number;
-  /** Instant at which the fault had hit ten requests. */
+  /** Instant at which the fault had affected ten requests. */
   readonly detectableAt: number;
-  /** Time from there to the last request that went to the new version. */
+  /** Time from `detectableAt` to the last request that was sent to the new version. */
   readonly reactionMs: number;
   readonly operatorCalls: number;
 }
 
+/** Input of one simulated move. */
 export interface MoveScenario {
   readonly seed: number;
   readonly behaviour: VersionBehaviour;
   readonly requestsPerSecond: number;
-  /** Instant of an operator's order to take the version back, at the last entry daemon. */
+  /** Instant at which an operator orders a rollback at the last entry daemon. */
   readonly orderAt?: number;
-  /** Whether reports reach the entry daemons at all. */
+  /** Whether any reports reach the entry daemons. */
   readonly reports?: 'mostly' | 'none';
 }
 
@@ -54,8 +58,11 @@
 const ROUTES = ['/chat', '/batch'];
 const CLASSES = ['lookup', 'memo'];
 const DATA_CENTRES = ['east', 'west'];
+/** Affected requests from which a fault counts as detectable. */
 const DETECTABLE_FAULTS = 10;
+/** Time within which the new version must receive no more requests. */
 const STOP_BOUND_MS = 5_000;
+/** Start of the fault of `fails-late`. */
 const LATE_FAULT_FROM_MS = 130_000;
 const REPORT_LOSS_RATE = 0.2;
 const BASE_FAILURE_RATE = 0.005;
@@ -68,7 +75,7 @@
   counts: Map<string, EvidenceCounts>;
 }
 
-/** A request that ends later: whether the version's own fault hits it is drawn at its start. */
+/** Request in flight; whether the version's own fault affects it is drawn at its start. */
 interface RunningRequest {
   readonly endpoint: SimulatedEndpoint;
   readonly incarnation: number;
@@ -79,7 +86,7 @@
   readonly hitByFault: boolean;
 }
 
-/** Probability with which the new version's own fault makes a request fail. */
+/** Computes the probability that the new version's own fault makes a request fail. */
 const computeFaultProbability = (
   behaviour: VersionBehaviour,
   now: number,
@@ -104,14 +111,14 @@
 };
 
 /**
- * Runs one move of 300 s over three entry daemons, eight endpoints and two data centres.
+ * Simulates one move of 300 s with three entry daemons, eight endpoints and two data centres.
  *
- * Faults of the surroundings: a fifth of the reports is lost, others are late by up to 2 s and
- * reordered, endpoints restart, the log is out for up to 40 s, and for 20 s both versions become
- * slow and fail more often.
+ * Injected faults: a fifth of the reports is lost, others are delayed by up to 2 s and reordered,
+ * endpoints restart, the log is unavailable for up to 40 s, and for 20 s both versions become slow
+ * and fail more often.
  *
- * @param scenario - seed, version, load and operator
- * @returns what happened, against the ground truth
+ * @param scenario - seed, behaviour of the new version, load and operator's order
+ * @returns the result of the run, with the ground truth
  */
 export const runMove = (scenario: MoveScenario): MoveRun => {
   const { seed, behaviour, requestsPerSecond, orderAt } = scenario;
--- a/packages/decisions/moves/notices.test.ts
+++ b/packages/decisions/moves/notices.test.ts
@@ -8,32 +8,36 @@
 const RUNS = 1_000;
 const DAEMONS = 4;
 const TICK_MS = 250;
-/** Longer than the last take-over and the longest pause after a failure. */
+/** Longer than the last takeover and the longest back-off after failures. */
 const HORIZON_MS = 300_000;
 
 const ENDED: EndedMove = { name: 'to-v2', endedAt: 7, outcome: 'done', reason: '' };
 const ID = formatNoticeId(ENDED);
 
+/** Input of one run. */
 interface Plan {
   /** Daemon that appended the terminal record. */
   readonly author: number;
+  /** Position of each daemon in the takeover order, in [0,1). */
   readonly orders: readonly number[];
-  /** Time at which each daemon ends for good; the last one never does. */
+  /** Time at which each daemon stops for good; the last one never does. */
   readonly endsAt: readonly number[];
-  /** Calls of the webhook that fail before one succeeds. */
+  /** Webhook calls that fail before one succeeds. */
   readonly failures: number;
-  /** Appends that are lost before one lands. */
+  /** Appends that are lost before one reaches the log. */
   readonly lostAppends: number;
   readonly callMs: number;
 }
 
+/** Result of one run. */
 interface Outcome {
+  /** Ids of the notices that the webhook received. */
   readonly ids: readonly string[];
-  /** Attempts after the record was in the log and read by all. */
+  /** Notices sent after every daemon had read the record from the log. */
   readonly late: number;
 }
 
-/** Runs daemons on one virtual clock; calls take their time and records are read at the next tick. */
+/** Runs daemons on a virtual clock; calls take `callMs`, and records are read at the next tick. */
 const runDaemons = (plan: Plan, record: 'kept' | 'disabled' = 'kept'): Outcome => {
   const states: NoticeState[] = Array.from({ length: DAEMONS }, () => new Map());
   const calls: { readonly by: number; readonly endsAt: number }[] = [];
@@ -89,8 +93,8 @@
   callMs: fc.constantFrom(20, 500, 5_000),
 });
 
-// Guards against an end that no operator hears of, because its author ended before it could tell.
-test('operators get a notice while one daemon lives, and none once it is recorded', (t) => {
+// Guards against an end without a notice because its author stopped before it could send one.
+test('a notice is sent while one daemon runs, and none once it is recorded', (t) => {
   const property = fc.property(anyPlan, (plan) => {
     const { ids, late } = runDaemons(plan);
     if (ids.length === 0) throw new Error('no notice');
@@ -101,22 +105,27 @@
   t.pass();
 });
 
-// Guards against one notice from every daemon in the usual case.
+// Guards against a notice from every daemon when there are no faults.
 test('without faults exactly one notice is sent, by the author', (t) => {
   const property = fc.property(anyPlan, (plan) => {
-    const usual = { ...plan, failures: 0, lostAppends: 0, endsAt: plan.endsAt.map(() => Infinity) };
-    const { ids } = runDaemons(usual);
+    const withoutFaults = {
+      ...plan,
+      failures: 0,
+      lostAppends: 0,
+      endsAt: plan.endsAt.map(() => Infinity),
+    };
+    const { ids } = runDaemons(withoutFaults);
     if (ids.length !== 1) throw new Error(`${ids.length.toString()} notices`);
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   const plan = { author: 0, orders: [0, 0.3, 0.6, 0.9], endsAt: [], failures: 0, lostAppends: 0 };
   const all = { ...plan, endsAt: plan.orders.map(() => Infinity), callMs: 20 };
-  // The simulation must notice the missing record.
+  // Without the record every daemon sends the notice, so the simulation can detect duplicates.
   t.is(runDaemons(all, 'disabled').ids.length, DAEMONS);
 });
 
-// Guards against a restarted author that sends again what its earlier life has sent.
-test('only the author that saw the end coming sends at once', (t) => {
+// Guards against a restarted author that sends the notice of its previous incarnation again.
+test('only the author of the end sends at once, and others after the takeover delay', (t) => {
   const event = { kind: 'ended', ended: ENDED, order: 0, now: 0 } as const;
   const own = decideNotice(new Map(), { ...event, role: 'author' });
   t.deepEqual(own.effects, [{ kind: 'send-notice', id: ID, ended: ENDED }]);
--- a/packages/decisions/moves/versionMove.promise.test.ts
+++ b/packages/decisions/moves/versionMove.promise.test.ts
@@ -11,8 +11,8 @@
     runMove({ seed: 100 + index, behaviour, requestsPerSecond: REQUESTS_PER_SECOND }),
   );
 
-// Guards against a good version that is taken back or misses its deadline although reports are
-// lost, late and reordered, endpoints restart, the log is out and both versions suffer at once.
+// Guards against a good version that is taken back or misses its deadline when reports are lost,
+// late and reordered, endpoints restart, the log is unavailable and both versions fail more often.
 test('P4: a good version finishes by its deadline in every run', (t) => {
   for (const run of runSeeds('good', GOOD_RUNS)) {
     t.is(run.record?.outcome, 'done');
@@ -21,7 +21,7 @@
   }
 });
 
-// The fault is clear at the instant at which it has hit ten requests.
+// A fault is detectable from the instant at which it has affected ten requests.
 for (const behaviour of [
   'fails-always',
   'fails-half',
@@ -30,8 +30,8 @@
   'fails-under-load',
   'fails-on-one-route',
 ] as const) {
-  // Guards against a bad version that goes on after its fault is clear, at whatever share.
-  test(`P4: a version that ${behaviour} gets nothing 5 s after its fault is clear`, (t) => {
+  // Guards against a bad version that still receives requests after its fault is detectable.
+  test(`P4: a version that ${behaviour} gets no requests 5 s after a detectable fault`, (t) => {
     for (const run of runSeeds(behaviour, BAD_RUNS)) {
       t.is(run.record?.outcome, 'taken-back');
       t.is(run.lateRequestsToNew, 0);
@@ -40,9 +40,9 @@
   });
 }
 
-// Guards against a canary that gives more than 5% to a version that is bad from the start. Each
-// request is drawn by itself, so one run may deviate by chance: by three standard deviations.
-test('P4: a version that is bad from the start gets at most 5% of the traffic', (t) => {
+// Guards against a canary that sends more than 5% to a version that is bad from the start. Requests
+// are drawn independently, so one run may deviate by three standard deviations.
+test('P4: a version that is bad from the start receives at most 5% of the traffic', (t) => {
   for (const behaviour of ['fails-always', 'fails-half', 'slow', 'fails-on-one-route'] as const) {
     const runs = runSeeds(behaviour, BAD_RUNS);
     const requests = runs.reduce((sum, run) => sum + run.requests, 0);
@@ -54,7 +54,7 @@
   }
 });
 
-// Guards against daemons that end one move differently when an operator's order races with its end.
+// Guards against daemons with different outcomes when an operator's order races with the end.
 test('P4: the first terminal record is final at every entry daemon', (t) => {
   const outcomes = new Set<string>();
   for (const orderAt of [60_000, 180_000, 222_000, 224_000, 226_000, 228_000, 250_000]) {
@@ -68,7 +68,7 @@
   t.deepEqual([...outcomes].sort(), ['done', 'taken-back']);
 });
 
-// Guards against a move that guesses: the canary answers one request in five seconds.
+// Guards against a move that proceeds without evidence: the canary answers one request in 5 s.
 test('P4: too little evidence near the deadline calls an operator and keeps the canary', (t) => {
   const run = runMove({ seed: 3, behaviour: 'good', requestsPerSecond: 5 });
   t.is(run.record, null);
@@ -76,8 +76,8 @@
   t.true(run.requestsToNew < 0.08 * run.requests);
 });
 
-// Guards against a simulation whose oracle finds nothing: without evidence the canary goes on.
-test('P4: the simulation breaks the promise without the evidence', (t) => {
+// Guards against an oracle that finds nothing: without evidence the canary keeps its share.
+test('P4: the simulation finds a violation without the evidence', (t) => {
   const scenario = { seed: 100, behaviour: 'fails-always', requestsPerSecond: 40 } as const;
   t.true(runMove({ ...scenario, reports: 'none' }).lateRequestsToNew > 0);
 });
