Describe the records, state and constants of the configuration

Comments said who won a race, what folding did and that the offset never goes back. They now say what a record, a deferred record, a gap and a void result are. Schemas of strings and durations have names of their own, so a message no longer hides one.

--- a/packages/decisions/configuration/constants.ts
+++ b/packages/decisions/configuration/constants.ts
@@ -1,17 +1,17 @@
 /** Format of the records that this version writes and reads. */
 export const CONTROL_FORMAT = 1 as const;
 
-/** Raw records kept for peers that are a little behind; one further behind gets a snapshot. */
+/** Raw records kept for peers that are slightly behind; one further behind gets a snapshot. */
 export const MAX_RECENT_RECORDS = 256;
 
-/** Bytes of records in one heartbeat answer; the rest follows with the next ones. */
+/** Bytes of records in one heartbeat answer; the rest follows in the next answers. */
 export const DELTA_MAX_BYTES = 4_096;
 
-/** Share of the kept log behind which an entity's record makes a snapshot due. */
+/** Fraction of the retained log; a snapshot is due when the newest one lies before this point. */
 export const SNAPSHOT_DUE_FRACTION = 0.5;
 
 /**
- * Records since the newest snapshot that make the next one due. A log that drops by count shows its
- * bound only after it has dropped the first record, so the first snapshot cannot wait for that.
+ * Records since the newest snapshot after which the next one is due. A log with retention by count
+ * reveals its bound only once it has dropped the first record, too late for the first snapshot.
  */
 export const SNAPSHOT_DUE_RECORDS = 1_000;
--- a/packages/decisions/configuration/records.ts
+++ b/packages/decisions/configuration/records.ts
@@ -7,18 +7,18 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
-const text = z.string().min(1).max(256);
-const duration = z.number().positive();
+const shortString = z.string().min(1).max(256);
+const durationMs = z.number().positive();
 const offset = z.number().int().nonnegative();
 
 const classSchema = z.strictObject({
-  className: text,
+  className: shortString,
   importance: z.enum(['critical', 'standard', 'background']),
   answerLength: z.enum(['short', 'long']).default('long'),
-  firstTokenMs: duration,
-  tokenGapMs: duration,
-  stallMs: duration,
-  deadlineMs: duration,
+  firstTokenMs: durationMs,
+  tokenGapMs: durationMs,
+  stallMs: durationMs,
+  deadlineMs: durationMs,
   repeat: z.enum(['allowed', 'never']).default('allowed'),
   delivery: z.enum(['stream', 'whole']).default('stream'),
   overflowProbability: z.number().min(0).max(1).optional(),
@@ -33,10 +33,10 @@
 
 const moveBody = z
   .strictObject({
-    name: text,
-    model: text,
-    from: text,
-    to: text,
+    name: shortString,
+    model: shortString,
+    from: shortString,
+    to: shortString,
     startedAt: z.number(),
     deadline: z.number(),
   })
@@ -66,13 +66,16 @@
 
 const recordFields = z.object({
   format: z.literal(CONTROL_FORMAT),
-  author: text,
-  nonce: text,
+  author: shortString,
+  nonce: shortString,
 });
 
-const entityFields = recordFields.extend({ entity: text, basedOn: offset.nullable() });
+const entityFields = recordFields.extend({ entity: shortString, basedOn: offset.nullable() });
 
-const entrySchema = z.intersection(contentSchema, z.object({ entity: text, offset, author: text }));
+const entrySchema = z.intersection(
+  contentSchema,
+  z.object({ entity: shortString, offset, author: shortString }),
+);
 
 const snapshotRecordSchema = recordFields.extend({
   kind: z.literal('snapshot'),
@@ -87,36 +90,36 @@
 const toFailure = (error: z.ZodError, subject: string): Failure => {
   const issue = error.issues[0];
   const field = issue?.path.join('.') ?? '';
-  const text = `${subject}: field "${field}": ${issue?.message ?? 'invalid'}`;
-  return createFailure('not-run', 'bad-request', text);
+  const message = `${subject}: field "${field}": ${issue?.message ?? 'invalid'}`;
+  return createFailure('not-run', 'bad-request', message);
 };
 
-const RECORD = 'record of the control stream';
+const RECORD_SUBJECT = 'record of the control stream';
 
 const isSnapshot = (json: unknown): boolean =>
   typeof json === 'object' && json !== null && 'kind' in json && json.kind === 'snapshot';
 
 /**
- * Checks a value of the `control` stream.
+ * Parses a record of the `control` stream.
  *
  * @param json - decoded JSON of a record
- * @returns the record, or a failure that names the first bad field (`unsupported-format` for a
- *   format of a later version)
+ * @returns the record, or a failure that names the first invalid field (`unsupported-format` for
+ *   the format of a later version)
  */
 export const parseControlRecord = (json: unknown): Result<ControlRecord, Failure> => {
-  const unknown = checkRecordFormat(json, CONTROL_FORMAT, RECORD);
+  const unknown = checkRecordFormat(json, CONTROL_FORMAT, RECORD_SUBJECT);
   if (unknown !== null) return Err(unknown);
   const schema = isSnapshot(json) ? snapshotRecordSchema : entityRecordSchema;
   const parsed = schema.safeParse(json);
   if (parsed.success) return Ok(parsed.data as ControlRecord);
-  return Err(toFailure(parsed.error, RECORD));
+  return Err(toFailure(parsed.error, RECORD_SUBJECT));
 };
 
 /**
- * Checks a state that another process sent.
+ * Parses a snapshot that another process sent.
  *
  * @param json - decoded JSON of a snapshot
- * @returns the snapshot, or a failure that names the first bad field
+ * @returns the snapshot, or a failure that names the first invalid field
  */
 export const parseSnapshot = (json: unknown): Result<ConfigurationSnapshot, Failure> => {
   const parsed = snapshotSchema.safeParse(json);
@@ -134,20 +137,20 @@
 
 const proposalSchema = z.intersection(
   contentSchema,
-  z.object({ entity: text, basedOn: offset.nullable() }),
+  z.object({ entity: shortString, basedOn: offset.nullable() }),
 );
 
-/** A change that an operator proposes. */
+/** Change proposed by an operator. */
 export type Proposal = EntityContent & {
   readonly entity: string;
   readonly basedOn: number | null;
 };
 
 /**
- * Checks what an operator posted, before anything is appended.
+ * Parses a proposal that an operator posted.
  *
  * @param json - decoded body of the request
- * @returns the proposal, or a failure that names the first bad field
+ * @returns the proposal, or a failure that names the first invalid field
  */
 export const parseProposal = (json: unknown): Result<Proposal, Failure> => {
   const parsed = proposalSchema.safeParse(json);
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -2,11 +2,11 @@
 import type { ClassName, DataCentreId, ModelName, Offset, VersionName } from '../../core/ids.js';
 import type { ClassTargets } from '../placement/types.js';
 
-/** What an operator publishes for one class of work. */
+/** Targets and rules that an operator publishes for one class of work. */
 export interface PublishedClass extends ClassTargets {
   readonly firstTokenMs: Millis;
   readonly tokenGapMs: Millis;
-  /** Gap between tokens from which on a stream counts as stalled. */
+  /** Gap between tokens from which a stream counts as stalled. */
   readonly stallMs: Millis;
   readonly deadlineMs: Millis;
   readonly repeat: 'allowed' | 'never';
@@ -36,7 +36,7 @@
 }
 
 export interface MoveNotifiedBody {
-  /** Offset of the terminal record that operators were notified of. */
+  /** Offset of the terminal record of which operators were notified. */
   readonly endedAt: Offset;
 }
 
@@ -44,7 +44,7 @@
   readonly expiresAt: Millis;
 }
 
-/** Content of an entity, by the kind of its record. */
+/** Content of an entity, by kind of record. */
 export type EntityContent =
   | { readonly kind: 'targets'; readonly body: TargetsBody }
   | { readonly kind: 'data-centre'; readonly body: DataCentreBody }
@@ -65,94 +65,98 @@
 export type EntityRecord = RecordBase &
   EntityContent & {
     readonly entity: string;
-    /** Offset of the entity's record that the author knew; null for a new entity. */
+    /** Offset of the entity's latest record that the author had read; null for a new entity. */
     readonly basedOn: Offset | null;
   };
 
-/** State as of an offset, appended again before retention drops the records behind it. */
+/** State as of an offset, appended before retention drops the records that it covers. */
 export interface SnapshotRecord extends RecordBase {
   readonly kind: 'snapshot';
-  /** The snapshot contains every record below this offset. */
+  /** The snapshot covers every record below this offset. */
   readonly asOf: Offset;
   readonly entities: readonly EntityEntry[];
 }
 
 export type ControlRecord = EntityRecord | SnapshotRecord;
 
-/** An entity that is in force. */
+/** Entity in force, with the record that set it. */
 export type EntityEntry = EntityContent & {
   readonly entity: string;
   readonly offset: Offset;
   readonly author: string;
 };
 
-/** Who won a race. */
+/** Record in force that another record lost against. */
 export interface Winner {
   readonly offset: Offset;
   readonly author: string;
 }
 
-/** What folding one record did. */
+/** Effect of folding one record. */
 export type FoldResult =
   | { readonly kind: 'in-force'; readonly entry: EntityEntry }
+  /** The record has no effect. `winner` is null when nothing that it builds on is in force. */
   | { readonly kind: 'void'; readonly record: EntityRecord; readonly winner: Winner | null }
   | { readonly kind: 'snapshot'; readonly asOf: Offset }
-  /** The record is of a later format, or its offset is not the next one. */
+  /** The record is unreadable or deferred, or its offset is not the next one. */
   | { readonly kind: 'known' };
 
-/** A record as it was read, for peers that are behind. */
+/** Record as it was read from the log, kept for peers that are behind. */
 export interface RawRecord {
   readonly offset: Offset;
   readonly at: Millis;
   readonly body: unknown;
 }
 
-/** Configuration up to an offset; the offset never goes back. */
+/** Configuration up to an offset, which never decreases. */
 export interface ConfigurationState {
+  /** First offset that was not folded. */
   readonly nextOffset: Offset;
-  /** Entities in force by kind and name. */
+  /** Entities in force, by the key of their kind and name. */
   readonly entities: ReadonlyMap<string, EntityEntry>;
-  /** Raw records from `recentFrom` to `nextOffset`, without a gap. */
+  /** Raw records immediately before `nextOffset`, without a gap. */
   readonly recent: readonly RawRecord[];
-  /** Whether records were dropped before they were read, so that a snapshot is needed. */
+  /** `needs-snapshot` when the log dropped records before they were read. */
   readonly standing: 'exact' | 'needs-snapshot';
-  /** Records read since the gap, until a snapshot gives them their base. */
+  /** Records read after a gap, deferred until a snapshot supplies the state before them. */
   readonly deferred: readonly { readonly offset: Offset; readonly record: EntityRecord }[];
-  /** First offset read after the gap; only a snapshot that reaches it closes the gap. */
+  /** First offset after the gap; only a snapshot as of this offset or later closes the gap. */
   readonly gapEnd: Offset;
 }
 
-/** State that one process hands to another. */
+/** State that one process sends to another. */
 export interface ConfigurationSnapshot {
   readonly nextOffset: Offset;
   readonly entities: readonly EntityEntry[];
 }
 
-/** What a peer at an older offset is sent. */
+/** Records or snapshot for a peer that is behind. */
 export interface ConfigurationDelta {
+  /** `nextOffset` of the sender. */
   readonly watermark: Offset;
   readonly records: readonly RawRecord[];
   readonly snapshot: ConfigurationSnapshot | null;
 }
 
-/** The configuration as other parts use it. */
+/** Configuration in the form that other modules use. */
 export interface ConfigurationView {
   readonly offset: Offset;
   readonly classes: ReadonlyMap<ClassName, PublishedClass>;
   readonly dataCentresOut: readonly DataCentreId[];
   readonly moves: readonly MoveView[];
+  /** Expiry by name of the quarantined entity. */
   readonly quarantined: ReadonlyMap<string, Millis>;
 }
 
 export interface MoveEnd extends MoveEndedBody {
   readonly offset: Offset;
   readonly author: string;
-  /** Whether the log shows that operators were notified. */
+  /** `sent` when the log shows that operators were notified. */
   readonly notice: 'open' | 'sent';
 }
 
 export interface MoveView extends MoveBody {
   readonly offset: Offset;
-  /** Terminal record, the first one in log order. */
+  /** First terminal record in log order; null while the move is open. */
   readonly ended: MoveEnd | null;
 }
