--- a/packages/decisions/configuration/exchange.ts
+++ b/packages/decisions/configuration/exchange.ts
@@ -1,8 +1,8 @@
 import {
   CONTROL_FORMAT,
   DELTA_MAX_BYTES,
-  SNAPSHOT_DUE_RECORDS,
   SNAPSHOT_DUE_FRACTION,
+  SNAPSHOT_DUE_RECORDS,
 } from './constants.js';
 import { formatEntityKey } from './fold.js';
 import type {
@@ -20,7 +20,7 @@
   entry.kind !== 'quarantine' || entry.body.expiresAt > now;
 
 /**
- * Describes the configuration for another process.
+ * Builds the snapshot that another process receives.
  *
  * @param state - configuration whose standing is `exact`
  * @returns the snapshot
@@ -31,11 +31,12 @@
 });
 
 /**
- * Takes over a state from another process, unless the own one is as new.
+ * Replaces the configuration by a snapshot of another process if the snapshot is newer, or equally
+ * new while records are missing here.
  *
  * @param state - own configuration
  * @param snapshot - state of the other process
- * @returns the newer of both
+ * @returns the newer configuration
  */
 export const applySnapshot = (
   state: ConfigurationState,
@@ -62,7 +63,7 @@
   const selected: RawRecord[] = [];
   for (const record of records) {
     bytes += JSON.stringify(record.body).length;
-    // A single record above the budget still goes, or its reader would never get past it.
+    // A single record over the budget is sent too; otherwise its reader could never get past it.
     if (bytes > DELTA_MAX_BYTES && selected.length > 0) break;
     selected.push(record);
   }
@@ -70,12 +71,12 @@
 };
 
 /**
- * Decides what a peer at an offset is sent: the records it misses, or a snapshot when they are no
+ * Decides what to send to a peer: the records that it misses, or a snapshot when these are no
  * longer kept.
  *
  * @param state - own configuration
  * @param offset - first offset that the peer has not folded
- * @returns the delta
+ * @returns the delta, empty while the own configuration needs a snapshot
  */
 export const decideDelta = (state: ConfigurationState, offset: Offset): ConfigurationDelta => {
   const watermark = state.nextOffset;
@@ -88,24 +89,25 @@
   return { watermark, records: limitBytes(missing), snapshot: null };
 };
 
-/** Bounds of what the log still holds. */
+/** Bounds of the retained log and of its newest snapshot. */
 export interface RetentionInfo {
+  /** Oldest offset that the log retains. */
   readonly firstOffset: Offset;
   /** `asOf` of the newest snapshot in the log, or null. */
   readonly snapshotAt: Offset | null;
-  /** Age of the newest snapshot, or of the oldest record of the log when there is none. */
+  /** Age of the newest snapshot or, without one, of the oldest record in the log. */
   readonly snapshotAgeMs: Millis;
-  /** Age at which a snapshot is due whatever the offsets; well below the log's retention time. */
+  /** Age at which a snapshot is due at any offset; well below the log's retention time. */
   readonly maxAgeMs: Millis;
   readonly now: Millis;
 }
 
 /**
- * Plans the snapshot that must be appended before retention drops what it covers. Several daemons
- * may do so at once: a second snapshot changes nothing.
+ * Plans the snapshot that must be appended before retention drops the records that it covers.
+ * Several daemons may append one at the same time, because a second snapshot changes nothing.
  *
  * @param state - own configuration
- * @param info - bounds of the log
+ * @param info - bounds of the log and of its newest snapshot
  * @param author - name of this process
  * @param nonce - identifier of the record
  * @returns the record, or null while none is due
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -23,7 +23,7 @@
 type Entities = ReadonlyMap<string, EntityEntry>;
 
 /**
- * Creates the configuration of a process that has read nothing.
+ * Creates the configuration of a process that has not read any record.
  *
  * @returns an empty configuration
  */
@@ -37,11 +37,11 @@
 });
 
 /**
- * Formats the key of an entity.
+ * Formats the key of an entity in the map of entities.
  *
- * @param kind - kind of its records
- * @param entity - name
- * @returns key in the state's map
+ * @param kind - kind of the entity's records
+ * @param entity - name of the entity
+ * @returns the key
  */
 export const formatEntityKey = (kind: EntityKind, entity: string): string =>
   `${kind}\u0000${entity}`;
@@ -55,7 +55,7 @@
 const toWinner = (entry: EntityEntry | undefined): Winner | null =>
   entry === undefined ? null : { offset: entry.offset, author: entry.author };
 
-/** A move may be started again under its name only after the earlier one has ended. */
+/** A name can be used for another move only after the earlier move has ended. */
 const checkMove = (entities: Entities, record: EntityRecord): Winner | null => {
   const known = entities.get(formatEntityKey('move', record.entity));
   if (known === undefined) return null;
@@ -69,12 +69,12 @@
   if (move === undefined) return 'no-move';
   const ended = entities.get(formatEntityKey('move-ended', record.entity));
   if (ended !== undefined && ended.offset > move.offset) return toWinner(ended);
-  // A late end of an earlier move must not end the one that was started again under its name.
+  // A late terminal record of an earlier move must not end the current move of the same name.
   const isOfThisMove = record.basedOn === move.offset || record.basedOn === (ended?.offset ?? null);
   return isOfThisMove ? null : toWinner(move);
 };
 
-/** An end of quarantine only moves on; the clocks of the daemons that append one differ. */
+/** An expiry is only ever extended, because the clocks of the daemons that append it differ. */
 const checkQuarantine = (
   known: EntityEntry | undefined,
   record: EntityRecord & { readonly kind: 'quarantine' },
@@ -83,7 +83,7 @@
     ? toWinner(known)
     : null;
 
-/** A record of another end than the one in force says nothing about the move as it is now. */
+/** Only a record that refers to the terminal record in force takes effect. */
 const checkNotified = (
   entities: Entities,
   known: EntityEntry | undefined,
@@ -92,8 +92,8 @@
   const { endedAt } = record.body;
   const ended = entities.get(formatEntityKey('move-ended', record.entity));
   if (ended?.offset !== endedAt) return 'no-end';
-  const isKnown = known?.kind === 'move-notified' && known.body.endedAt === endedAt;
-  return isKnown ? toWinner(known) : null;
+  const isNotified = known?.kind === 'move-notified' && known.body.endedAt === endedAt;
+  return isNotified ? toWinner(known) : null;
 };
 
 const checkBase = (entities: Entities, record: EntityRecord): 'matches' | 'differs' => {
@@ -101,7 +101,7 @@
   return (known?.offset ?? null) === record.basedOn ? 'matches' : 'differs';
 };
 
-/** Tells whether a record takes effect, and who stands against it otherwise. */
+/** Reports whether a record takes effect and, if not, which record it lost against. */
 const checkRecord = (
   entities: Entities,
   record: EntityRecord,
@@ -130,7 +130,7 @@
       if (winner === 'no-end') return { kind: 'void', winner: null };
       return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
     }
-    // Every daemon that sees the second crash appends one; a later expiry prolongs the first.
+    // Every daemon that sees the second crash appends a record; a later expiry extends the first.
     case 'quarantine': {
       const winner = checkQuarantine(known, record);
       return winner === null ? { kind: 'effective' } : { kind: 'void', winner };
@@ -157,13 +157,13 @@
 const toEntities = (entries: readonly EntityEntry[]): Entities =>
   new Map(entries.map((entry) => [formatEntityKey(entry.kind, entry.entity), entry]));
 
-/** A snapshot matters only to a process that missed the records behind it. */
+/** A snapshot is used only by a process that missed records that it covers. */
 const applySnapshotRecord = (
   state: ConfigurationState,
   record: SnapshotRecord,
 ): ConfigurationState => {
   if (state.standing === 'exact') return state;
-  // A snapshot that was appended late misses the records between its offset and the gap's end.
+  // A snapshot as of an earlier offset lacks the records from there to the end of the gap.
   if (record.asOf < state.gapEnd) return state;
   const remaining = state.deferred.filter(({ offset }) => offset >= record.asOf);
   const entities = remaining.reduce<Entities>(
@@ -188,13 +188,14 @@
 };
 
 /**
- * Folds one record in log order. An offset that was folded before changes nothing, and neither does
- * one behind records that were not read: the reader of the log opens the gap first.
+ * Folds one record in log order. A record whose offset is not the next one changes nothing: it was
+ * folded before, or records before it were not read. In the second case the reader of the log calls
+ * `openGap` first.
  *
  * @param state - configuration
  * @param raw - record as it was read
- * @param record - the checked record; null for one that this version cannot read
- * @returns the next configuration and what the record did
+ * @param record - parsed record; null for one that this version cannot read
+ * @returns the next configuration and the effect of the record
  */
 export const foldControlRecord = (
   state: ConfigurationState,
@@ -202,21 +203,21 @@
   record: ControlRecord | null,
 ): Fold => {
   if (raw.offset !== state.nextOffset) return { state, result: { kind: 'known' } };
-  const seen = {
+  const advanced = {
     ...state,
     nextOffset: raw.offset + 1,
     recent: [...state.recent, raw].slice(-MAX_RECENT_RECORDS),
   };
-  if (record === null) return { state: seen, result: { kind: 'known' } };
-  return applyControl(seen, record, raw.offset);
+  if (record === null) return { state: advanced, result: { kind: 'known' } };
+  return applyControl(advanced, record, raw.offset);
 };
 
 /**
- * Notes that the log holds no record below an offset any more.
+ * Skips records that the log dropped before they were read.
  *
  * @param state - configuration
- * @param firstOffset - oldest offset that the log holds
- * @returns the configuration, waiting for a snapshot if unread records were dropped
+ * @param firstOffset - oldest offset that the log retains
+ * @returns the configuration, which needs a snapshot if unread records were dropped
  */
 export const openGap = (state: ConfigurationState, firstOffset: Offset): ConfigurationState =>
   firstOffset <= state.nextOffset
@@ -231,10 +232,11 @@
       };
 
 /**
- * Settles a gap for which the whole log holds no snapshot: nothing was ever in force before it.
+ * Closes a gap when the log was read to its end without a snapshot, so that nothing was in force
+ * before the gap.
  *
  * @param state - configuration whose reader has reached the end of the log
- * @returns an exact configuration
+ * @returns a configuration whose standing is `exact`
  */
 export const closeGap = (state: ConfigurationState): ConfigurationState => {
   if (state.standing === 'exact') return state;
--- a/packages/decisions/configuration/proposals.ts
+++ b/packages/decisions/configuration/proposals.ts
@@ -5,13 +5,13 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 
-/** What would become of a proposal if it were the next record. */
+/** Outcome of a proposal if it were the next record. */
 export type ProposalCheck =
   | { readonly kind: 'acceptable'; readonly change: ProposedChange }
   | { readonly kind: 'lost'; readonly winner: Winner }
   | { readonly kind: 'refused'; readonly failure: Failure };
 
-/** Difference that a proposal makes, for a dry run. */
+/** Change that a proposal makes, shown by a dry run. */
 export interface ProposedChange {
   readonly kind: Proposal['kind'];
   readonly entity: string;
@@ -22,7 +22,7 @@
 /**
  * Builds the record of a proposal.
  *
- * @param proposal - checked proposal
+ * @param proposal - parsed proposal
  * @param author - name of the operator
  * @param nonce - identifier of the record
  * @returns the record to append
@@ -34,12 +34,13 @@
 ): EntityRecord => ({ ...proposal, format: CONTROL_FORMAT, author, nonce });
 
 /**
- * Checks a proposal against what is in force, before anything is appended. The log order still
- * decides between proposals that pass at the same time.
+ * Checks a proposal against the configuration in force before it is appended. Of concurrent
+ * proposals that pass this check, the log order decides which one takes effect.
  *
  * @param state - configuration
- * @param proposal - checked proposal
- * @returns the change it would make, the winner it lost to, or why it is refused
+ * @param proposal - parsed proposal
+ * @returns the change that it would make, the record that it loses against, or the reason for which
+ *   it is refused
  */
 export const checkProposal = (state: ConfigurationState, proposal: Proposal): ProposalCheck => {
   if (proposal.kind === 'move' && proposal.entity !== proposal.body.name) {
--- a/packages/decisions/configuration/view.ts
+++ b/packages/decisions/configuration/view.ts
@@ -32,8 +32,8 @@
 });
 
 /**
- * Builds the configuration as other parts use it. Where two targets records name a class, the later
- * one counts.
+ * Builds the view of the configuration that other modules use. If several targets records define a
+ * class, the latest one applies.
  *
  * @param state - configuration
  * @returns the view
