State the failure that each test of the configuration guards against

Titles and comments spoke of a simulation too tame, of holes and of a loser that was told something else. They now name the failure, the disabled mechanism and the reference fold. The errors that the variants match still contain 'went back' or 'differ'; the others still do not.

--- a/packages/decisions/configuration/configuration.test.ts
+++ b/packages/decisions/configuration/configuration.test.ts
@@ -72,8 +72,8 @@
   entities: toSnapshot(state).entities,
 });
 
-// Guards against two operators who both believe that their change is in force.
-test('of two records on the same offset the first is in force, and the second names it', (t) => {
+// Guards against two operators who are both told that their change is in force.
+test('of two records based on one offset the first is in force and the second is void', (t) => {
   const { results } = foldAll([
     toRecord(buildOutProposal(null), 'ann'),
     toRecord(buildOutProposal(null), 'bob'),
@@ -82,14 +82,14 @@
   t.like(results[1], { kind: 'void', winner: { offset: 0, author: 'ann' } });
 });
 
-// Guards against a change based on something that was never there.
-test('a record that builds on nothing is void and names no winner', (t) => {
+// Guards against a change that is based on a record that never was in force.
+test('a record based on an unknown offset is void and has no winner', (t) => {
   const { results } = foldAll([toRecord(buildOutProposal(7))]);
   t.like(results[0], { kind: 'void', winner: null });
 });
 
-// Guards against two runs of one move, and against an end that is overruled later.
-test('a move runs once at a time, and its first terminal record is final', (t) => {
+// Guards against two concurrent moves of one name, and against an end that is replaced later.
+test('one move of a name runs at a time, and its first terminal record is final', (t) => {
   const { state, results } = foldAll([
     toRecord(buildMoveEndProposal(null, 'done')),
     toRecord(buildMoveProposal(null)),
@@ -103,13 +103,13 @@
   const kinds = results.map(({ kind }) => kind);
   t.deepEqual(kinds.slice(0, 4), ['void', 'in-force', 'void', 'in-force']);
   t.like(results[4], { kind: 'void', winner: { offset: 3, author: 'ann' } });
-  // A late end of the first run does not end the second.
+  // A late terminal record of the first move does not end the second.
   t.deepEqual(kinds.slice(5), ['in-force', 'void', 'in-force']);
   t.like(buildView(state).moves[0], { offset: 5, ended: { outcome: 'done', offset: 7 } });
 });
 
 // Guards against a daemon with a slow clock that shortens a quarantine.
-test('the end of a quarantine only moves on', (t) => {
+test('the expiry of a quarantine is only ever extended', (t) => {
   const ends = [50, 40, 60].map((end) => toRecord(buildQuarantineProposal(end)));
   const { state, results } = foldAll(ends);
   t.deepEqual(
@@ -119,7 +119,7 @@
   t.is(buildView(state).quarantined.get('f'), 60);
 });
 
-// Guards against repeated and early records that move the state.
+// Guards against repeated and early records that change the state.
 test('a record whose offset is not the next one changes nothing', (t) => {
   const { state } = foldAll([toRecord(buildOutProposal(null))]);
   for (const offset of [0, 2]) {
@@ -128,8 +128,8 @@
   }
 });
 
-// Guards against a state with holes after retention dropped unread records.
-test('after a gap only a snapshot that reaches it makes the state exact', (t) => {
+// Guards against an incomplete state after retention dropped unread records.
+test('after a gap only a snapshot that covers it makes the state exact', (t) => {
   const early = foldAll([toRecord(buildOutProposal(null))]).state;
   const late = foldAll([toRecord(buildOutProposal(null, 'west'))], early).state;
   const gap = openGap(createConfiguration(), 2);
@@ -146,8 +146,8 @@
   );
 });
 
-// Guards against a peer's older state that replaces a newer one.
-test('a snapshot of a peer is taken only when it is newer', (t) => {
+// Guards against an older snapshot of a peer that replaces a newer state.
+test('a snapshot of a peer is applied only when it is newer', (t) => {
   const early = foldAll([toRecord(buildOutProposal(null))]).state;
   const late = foldAll([toRecord(buildInProposal(0))], early).state;
   t.is(applySnapshot(late, toSnapshot(early)), late);
@@ -159,7 +159,7 @@
   t.true(parseSnapshot({ nextOffset: -1, entities: [] }).isErr());
 });
 
-// Guards against answers that miss records, exceed the budget or hand on an inexact state.
+// Guards against deltas that miss records, exceed the budget or carry an inexact state.
 test('a delta holds the missing records within the budget, or a snapshot', (t) => {
   const records = Array.from({ length: MAX_RECENT_RECORDS + 10 }, (_, index) =>
     toRecord(buildQuarantineProposal(index + 1)),
@@ -180,8 +180,8 @@
 
 const RETENTION = { firstOffset: 0, snapshotAt: null, snapshotAgeMs: 0, maxAgeMs: 100, now: 55 };
 
-// Guards against snapshots that are missing, needless or full of what has expired.
-test('a snapshot is planned by age, by count and by what the log still holds', (t) => {
+// Guards against snapshots that are missing, unnecessary or include expired entities.
+test('a snapshot is planned by age, by count and by what the log retains', (t) => {
   const { state } = foldAll([
     toRecord(buildOutProposal(null)),
     toRecord(buildQuarantineProposal(50)),
@@ -202,8 +202,8 @@
   t.is(planSnapshot(many, { ...RETENTION, snapshotAt: 1 }, 'entry', 'n'), null);
 });
 
-// Guards against a dry run that says something else than the fold.
-test('a proposal is checked against what is in force', (t) => {
+// Guards against a dry run whose result differs from that of the fold.
+test('a proposal is checked against the configuration in force', (t) => {
   const { state } = foldAll([toRecord(buildOutProposal(null), 'ann')]);
   t.like(checkProposal(state, buildOutProposal(0)), {
     kind: 'acceptable',
@@ -217,7 +217,7 @@
   t.is(checkProposal(state, { ...buildMoveProposal(null), entity: 'other' }).kind, 'refused');
 });
 
-// Guards against records that are taken in although a field is missing, unknown or of no sense.
+// Guards against accepting records with missing, unknown or inconsistent fields.
 test('records and proposals are checked field by field', (t) => {
   t.true(parseControlRecord(toRecord(buildOutProposal(null))).isOk());
   t.is(
--- a/packages/decisions/configuration/configurationProperty.fixture.ts
+++ b/packages/decisions/configuration/configurationProperty.fixture.ts
@@ -14,10 +14,11 @@
 });
 
 /**
- * Builds the property of P10: a configuration never goes back and is the same everywhere.
+ * Builds the property of P10: an accepted configuration never reverts and is the same at every
+ * daemon.
  *
- * @param mechanisms - the decisions under test, or variants of them
- * @returns a fast-check property that throws with the violation
+ * @param mechanisms - decisions under test, or variants of them
+ * @returns a fast-check property that throws an error with the violation
  */
 export const buildConfigurationProperty = (mechanisms: Mechanisms) =>
   fc.property(fc.array(anyAction, { maxLength: 150, size: 'max' }), (actions) => {
--- a/packages/decisions/configuration/configurationSimulation.fixture.ts
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -12,7 +12,7 @@
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-/** Decisions under test; variants leave out one mechanism. */
+/** Decisions under test; each variant disables one mechanism. */
 export interface Mechanisms {
   readonly fold: typeof foldControlRecord;
   readonly applySnapshot: typeof applySnapshot;
@@ -38,6 +38,7 @@
 
 export interface SimulationAction {
   readonly kind: ActionKind;
+  /** Random number from which the action derives its choices. */
   readonly pick: number;
 }
 
@@ -54,12 +55,12 @@
 interface Simulation {
   readonly mechanisms: Mechanisms;
   readonly daemons: readonly Daemon[];
-  /** Every record ever appended, also those that the log has dropped. */
+  /** All records ever appended, including those that the log has dropped. */
   readonly history: RawRecord[];
-  /** Appends that have not reached the log. */
+  /** Records whose append has not reached the log. */
   readonly pending: object[];
   readonly messages: { readonly to: Daemon; readonly message: Message }[];
-  /** What folding each offset did, as the first exact daemon saw it. */
+  /** Effect of the record at each offset at the first daemon that folded it in an exact state. */
   readonly results: Map<number, string>;
   firstOffset: number;
   log: 'up' | 'out';
@@ -117,7 +118,7 @@
   }
 };
 
-/** An author builds on what one entry daemon shows, however old. */
+/** Proposes a change based on the state of one entry daemon, which may be out of date. */
 const addProposal = (
   simulation: Simulation,
   kind: EntityKind,
@@ -165,9 +166,9 @@
     result.kind === 'void' ? { kind: 'void', winner: result.winner } : { kind: 'in-force' },
   );
   const earlier = simulation.results.get(raw.offset) ?? seen;
-  // A snapshot leaves out quarantines that have expired, and only those may be judged differently.
+  // Snapshots leave out expired quarantines, so only quarantines may have different results.
   if (earlier !== seen && parsed?.kind !== 'quarantine')
-    throw new Error('two daemons judge a record differently');
+    throw new Error('two daemons fold a record with different results');
   simulation.results.set(raw.offset, seen);
 };
 
@@ -209,7 +210,7 @@
   simulation.history.push({ offset: simulation.history.length, at: simulation.now, body });
 };
 
-/** Retention drops only what a snapshot in the log covers; another test shows that one is there. */
+/** Drops only records that a snapshot covers; `findUncovered` checks that there is a snapshot. */
 const expireRecords = (simulation: Simulation, pick: number): void => {
   const kept = simulation.history
     .slice(simulation.firstOffset)
@@ -235,7 +236,7 @@
   const index = pick % Math.max(1, simulation.messages.length);
   const sent = simulation.messages[index];
   if (sent === undefined) return;
-  // Every third message comes again later.
+  // Every third message is delivered again later.
   if (pick % 3 !== 0) simulation.messages.splice(index, 1);
   receive(simulation, sent.to, sent.message);
 };
@@ -308,7 +309,7 @@
   }
   const entry = pickItem(listRole(simulation, 'entry'), simulation.now) as Daemon;
   for (const endpoint of listRole(simulation, 'endpoint')) {
-    // A delta is bounded in bytes, so several answers may be needed.
+    // A delta is limited in bytes, so several may be needed.
     for (let round = 0; round < simulation.history.length + 1; round += 1) {
       receive(simulation, endpoint, {
         kind: 'delta',
@@ -318,33 +319,35 @@
   }
 };
 
-/** Compares what the daemons saw with the plain fold of the whole history. */
+/** Compares the results of the daemons with the reference fold of the whole history. */
 const checkResults = (simulation: Simulation): void => {
   const { rows } = foldReference(simulation.history);
   for (const [offset, seen] of simulation.results) {
     const row = rows[offset] as ReferenceRow;
     const { kind } = simulation.history[offset]?.body as { readonly kind?: string };
     if (kind !== 'quarantine' && seen !== describeRow(row)) {
-      throw new Error(`the loser or winner at offset ${offset.toString()} was told something else`);
+      throw new Error(
+        `the result at offset ${offset.toString()} is not that of the reference fold`,
+      );
     }
   }
 };
 
-/** Of the records of one entity that build on the same offset, one is in force. */
-const checkRaces = (simulation: Simulation): void => {
+/** Checks that of an entity's records based on the same offset exactly one came into force. */
+const checkConflicts = (simulation: Simulation): void => {
   const { rows } = foldReference(simulation.history);
-  const races = new Map<string, number>();
+  const conflicts = new Map<string, number>();
   for (const { offset, body } of simulation.history) {
     const { kind, entity, basedOn } = body as Record<string, unknown>;
     if (kind !== 'targets' && kind !== 'data-centre') continue;
     if (entity === undefined) continue;
-    const race = JSON.stringify([kind, entity, basedOn]);
+    const conflict = JSON.stringify([kind, entity, basedOn]);
     const seen = simulation.results.get(offset) ?? describeRow(rows[offset] as ReferenceRow);
-    races.set(race, (races.get(race) ?? 0) + (seen === 'in-force' ? 1 : 0));
+    conflicts.set(conflict, (conflicts.get(conflict) ?? 0) + (seen === 'in-force' ? 1 : 0));
   }
-  for (const [race, winners] of races) {
+  for (const [conflict, winners] of conflicts) {
     if (winners !== 1)
-      throw new Error(`${winners.toString()} records in force in the race ${race}`);
+      throw new Error(`${winners.toString()} records in force in the conflict ${conflict}`);
   }
 };
 
@@ -357,17 +360,18 @@
       throw new Error(`an ${daemon.role} daemon did not reach the end of the log`);
     }
   }
-  checkRaces(simulation);
+  checkConflicts(simulation);
   checkResults(simulation);
 };
 
 /**
- * Runs entry and endpoint daemons against a log with outages and retention; pages, deltas and
- * peers' snapshots arrive late, repeated and in any order, also after a restart of their reader.
+ * Simulates entry and endpoint daemons and a log with outages and retention. Pages of the log,
+ * deltas and snapshots of peers arrive late, repeated and in any order, even after their reader
+ * restarted.
  *
- * @param actions - what happens, in order
+ * @param actions - actions in order
  * @param mechanisms - decisions under test
- * @returns number of records in the log, to show that the run was not empty
+ * @returns number of records ever appended, to show that the run was not empty
  * @throws an error at the first violated property
  */
 export const runConfiguration = (
--- a/packages/decisions/configuration/referenceFold.fixture.ts
+++ b/packages/decisions/configuration/referenceFold.fixture.ts
@@ -1,6 +1,6 @@
 import type { EntityEntry, RawRecord, Winner } from './types.js';
 
-/** What one record does, by the plain fold. */
+/** Effect of one record in the reference fold. */
 export type ReferenceRow =
   | { readonly kind: 'in-force' }
   | { readonly kind: 'void'; readonly winner: Winner | null }
@@ -52,10 +52,10 @@
 };
 
 /**
- * Folds a whole history in the plainest way, from offset 0 and without snapshots.
+ * Folds a whole history in the simplest way, from offset 0 and without snapshots.
  *
  * @param history - every record ever appended
- * @returns the entities in force and what each record did
+ * @returns the entities in force and the effect of each record
  */
 export const foldReference = (
   history: readonly RawRecord[],
@@ -76,7 +76,7 @@
   return { entities, rows };
 };
 
-/** Fields that a daemon fills in by their defaults are left out. */
+/** Describes an entity without its body, in which a daemon fills in default values. */
 const describeEntry = (entry: ReferenceEntry | EntityEntry): string => {
   const { kind, entity, offset, author } = entry;
   return JSON.stringify([kind, entity, offset, author]);
@@ -86,12 +86,12 @@
   'expiresAt' in body && (body.expiresAt ?? 0) <= now;
 
 /**
- * Describes entities for a comparison; an offset names its record and so its content. Quarantines
- * that have expired are left out, as snapshots leave them out.
+ * Describes entities for a comparison; an offset identifies the record and thereby its content.
+ * Expired quarantines are left out, because snapshots leave them out.
  *
  * @param entities - entities by key
  * @param now - current instant
- * @returns text that is equal for equal entities
+ * @returns a string that is equal for equal entities
  */
 export const describeEntities = (
   entities: ReadonlyMap<string, ReferenceEntry | EntityEntry>,
--- a/packages/decisions/configuration/retentionSimulation.fixture.ts
+++ b/packages/decisions/configuration/retentionSimulation.fixture.ts
@@ -2,21 +2,22 @@
 import { planSnapshot } from './exchange.js';
 import { createConfiguration, foldControlRecord } from './fold.js';
 
-/** One run against the log's retention. */
+/** Input of one run against a log with retention. */
 export interface RetentionRun {
   readonly retentionMs: number;
   readonly retentionRecords: number;
   readonly maxAgeMs: number;
-  /** Time between the plan of a snapshot and its place in the log. */
+  /** Time from planning a snapshot until it is in the log. */
   readonly appendDelayMs: number;
+  /** Intervals between records. */
   readonly gapsMs: readonly number[];
 }
 
 /**
  * Finds a record that retention drops before a snapshot covers it.
  *
- * @param run - retention, delays and the gaps between records
- * @returns the first offset whose loss no snapshot covers, or null
+ * @param run - retention, delays and intervals between records
+ * @returns the oldest retained offset when a dropped record is not covered, or null
  */
 export const findUncovered = (run: RetentionRun): number | null => {
   let state = createConfiguration();
@@ -73,8 +74,8 @@
   fc.array(fc.integer({ min: 1, max: maxGap }), { minLength: length, maxLength: length });
 
 /**
- * Builds the property that a snapshot is in the log before retention by time drops what it covers:
- * it is due at a third of the retention and is in the log within another third.
+ * Builds the property that a snapshot is in the log before retention by time drops the records that
+ * it covers: it is due at a third of the retention and is in the log within another third.
  *
  * @returns a fast-check property
  */
