--- a/packages/decisions/configuration/configurationSimulation.fixture.ts
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -172,7 +172,7 @@
   simulation.results.set(raw.offset, seen);
 };
 
-const takeSnapshot = (
+const applyReceivedSnapshot = (
   simulation: Simulation,
   daemon: Daemon,
   snapshot: ConfigurationSnapshot,
@@ -189,11 +189,12 @@
       for (const raw of message.records) foldRawRecord(simulation, daemon, raw);
       return;
     case 'delta':
-      if (message.delta.snapshot !== null) takeSnapshot(simulation, daemon, message.delta.snapshot);
+      if (message.delta.snapshot !== null)
+        applyReceivedSnapshot(simulation, daemon, message.delta.snapshot);
       for (const raw of message.delta.records) foldRawRecord(simulation, daemon, raw);
       return;
     case 'snapshot':
-      takeSnapshot(simulation, daemon, message.snapshot);
+      applyReceivedSnapshot(simulation, daemon, message.snapshot);
       return;
     default:
       assertNever(message);
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -83,7 +83,7 @@
     ? toWinner(known)
     : null;
 
-/** Only a record that refers to the terminal record in force takes effect. */
+/** Only a record for the terminal record in force takes effect; others concern an earlier end. */
 const checkNotified = (
   entities: Entities,
   known: EntityEntry | undefined,
