--- a/packages/decisions/moves/evidence.ts
+++ b/packages/decisions/moves/evidence.ts
@@ -183,6 +183,7 @@
   (cell.stratum.old.failure.answers >= STRATUM_MIN_OLD_ANSWERS ||
     cell.stratumEvaluations >= STRATUM_MAX_EVALUATIONS);
 
+/** Log likelihood ratios of one evaluation, by odds ratio. */
 interface LogRatios {
   readonly concurrent: readonly number[];
   readonly historical: readonly number[];
--- a/packages/decisions/moves/move.ts
+++ b/packages/decisions/moves/move.ts
@@ -115,6 +115,7 @@
 ): boolean =>
   left.size === right.size && [...left].every(([route, share]) => right.get(route) === share);
 
+/** Checks that the old version answers hardly any recent requests on each route. */
 const isTrafficMoved = (evidence: Evidence): boolean =>
   [...collectRouteEvidence(evidence).values()].every(
     ({ recentOld, recentNew }) => recentOld <= MOVED_MAX_OLD_SHARE * (recentOld + recentNew),
--- a/packages/decisions/moves/noticeTypes.ts
+++ b/packages/decisions/moves/noticeTypes.ts
@@ -17,6 +17,7 @@
  */
 export type NoticePhase = 'waiting' | 'sending' | 'sent';
 
+/** Notice of an ended move that the log does not show as sent. */
 export interface OpenNotice {
   readonly ended: EndedMove;
   readonly phase: NoticePhase;
