--- a/packages/decisions/configuration/referenceFold.fixture.ts
+++ b/packages/decisions/configuration/referenceFold.fixture.ts
@@ -1,6 +1,6 @@
 import type { EntityEntry, RawRecord, Winner } from './types.js';
 
-/** What one record does, by the plain fold. */
+/** Effect of one record in the reference fold. */
 export type ReferenceRow =
   | { readonly kind: 'in-force' }
   | { readonly kind: 'void'; readonly winner: Winner | null }
@@ -14,7 +14,7 @@
   readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
-interface PlainRecord {
+interface ReferenceRecord {
   readonly kind: string;
   readonly format: number;
   readonly entity: string;
@@ -23,16 +23,19 @@
   readonly body: { readonly expiresAt?: number; readonly endedAt?: number };
 }
 
-type Table = Map<string, ReferenceEntry>;
+type ReferenceTable = Map<string, ReferenceEntry>;
 
-const checkPlain = (table: Table, record: PlainRecord): Winner | 'unknown' | null => {
-  const own = table.get(`${record.kind} ${record.entity}`);
+const checkReference = (
+  table: ReferenceTable,
+  record: ReferenceRecord,
+): Winner | 'unknown' | null => {
+  const known = table.get(`${record.kind} ${record.entity}`);
   const move = table.get(`move ${record.entity}`);
   const ended = table.get(`move-ended ${record.entity}`);
   const isEnded = (ended?.offset ?? -1) > (move?.offset ?? -1);
   if (record.kind === 'quarantine') {
-    const isShorter = (own?.body.expiresAt ?? -1) >= (record.body.expiresAt ?? 0);
-    return isShorter ? (own ?? null) : null;
+    const isShorter = (known?.body.expiresAt ?? -1) >= (record.body.expiresAt ?? 0);
+    return isShorter ? (known ?? null) : null;
   }
   if (record.kind === 'move-ended') {
     if (move === undefined) return 'unknown';
@@ -41,27 +44,27 @@
   }
   if (record.kind === 'move-notified') {
     if (ended === undefined || ended.offset !== record.body.endedAt) return 'unknown';
-    return own?.body.endedAt === record.body.endedAt ? (own ?? null) : null;
+    return known?.body.endedAt === record.body.endedAt ? (known ?? null) : null;
   }
-  if (record.kind === 'move' && own !== undefined && !isEnded) return own;
-  if (record.basedOn === (own?.offset ?? null)) return null;
-  return own ?? 'unknown';
+  if (record.kind === 'move' && known !== undefined && !isEnded) return known;
+  if (record.basedOn === (known?.offset ?? null)) return null;
+  return known ?? 'unknown';
 };
 
 /**
- * Folds a whole history in the plainest way, from offset 0 and without snapshots.
+ * Folds a whole history in the simplest way, from offset 0 and without snapshots.
  *
  * @param history - every record ever appended
- * @returns the entities in force and what each record did
+ * @returns the entities in force and the effect of each record
  */
 export const foldReference = (
   history: readonly RawRecord[],
-): { readonly entities: Table; readonly rows: readonly ReferenceRow[] } => {
-  const entities: Table = new Map();
+): { readonly entities: ReferenceTable; readonly rows: readonly ReferenceRow[] } => {
+  const entities: ReferenceTable = new Map();
   const rows = history.map(({ offset, body }): ReferenceRow => {
-    const record = body as PlainRecord;
+    const record = body as ReferenceRecord;
     if (record.format !== 1 || record.kind === 'snapshot') return { kind: 'other' };
-    const winner = checkPlain(entities, record);
+    const winner = checkReference(entities, record);
     if (winner === 'unknown') return { kind: 'void', winner: null };
     if (winner !== null) {
       return { kind: 'void', winner: { offset: winner.offset, author: winner.author } };
@@ -73,7 +76,7 @@
   return { entities, rows };
 };
 
-/** Fields that a daemon fills in by their defaults are left out. */
+/** Describes an entity without its body, in which a daemon fills in default values. */
 const describeEntry = (entry: ReferenceEntry | EntityEntry): string => {
   const { kind, entity, offset, author } = entry;
   return JSON.stringify([kind, entity, offset, author]);
@@ -83,12 +86,12 @@
   'expiresAt' in body && (body.expiresAt ?? 0) <= now;
 
 /**
- * Describes entities for a comparison; an offset names its record and so its content. Quarantines
- * that have expired are left out, as snapshots leave them out.
+ * Describes entities for a comparison; an offset identifies the record and thereby its content.
+ * Expired quarantines are left out, because snapshots leave them out.
  *
  * @param entities - entities by key
  * @param now - current instant
- * @returns text that is equal for equal entities
+ * @returns a string that is equal for equal entities
  */
 export const describeEntities = (
   entities: ReadonlyMap<string, ReferenceEntry | EntityEntry>,
--- a/packages/decisions/moves/evidence.ts
+++ b/packages/decisions/moves/evidence.ts
@@ -4,16 +4,16 @@
   EARLY_FAULT_WEIGHT,
   ODDS_RATIOS,
   RECENT_DECAY,
-  RECENT_OLD_REQUESTS,
-  STRATUM_MAX_LOOKS,
-  STRATUM_OLD_REQUESTS,
+  RECENT_MIN_OLD_ANSWERS,
+  STRATUM_MAX_EVALUATIONS,
+  STRATUM_MIN_OLD_ANSWERS,
 } from './constants.js';
 import {
-  CLEAR_LOG_RATIO,
-  computeLogRatio,
-  computePastFactor,
-  computePresentFactor,
-  computeUpperRate,
+  SIGNIFICANT_LOG_EVIDENCE,
+  computeConcurrentLogRatio,
+  computeHistoricalLogRatio,
+  computeLogEvidence,
+  computeRateUpperBound,
   initSequentialTest,
   updateSequentialTest,
 } from './sequentialTest.js';
@@ -36,30 +36,30 @@
 
 const METRICS: readonly FaultMetric[] = ['failure', 'slow'];
 
-const EMPTY: Tallies = {
+const EMPTY_TALLIES: Tallies = {
   failure: { answers: 0, faults: 0 },
   slow: { answers: 0, faults: 0 },
 };
 
-const EMPTY_SIDES: SideTallies = { old: EMPTY, new: EMPTY };
+const EMPTY_SIDE_TALLIES: SideTallies = { old: EMPTY_TALLIES, new: EMPTY_TALLIES };
 
 const initTests = (): Readonly<Record<FaultMetric, MetricTests>> => {
-  const tests = { present: initSequentialTest(), past: initSequentialTest() };
+  const tests = { concurrent: initSequentialTest(), historical: initSequentialTest() };
   return { failure: tests, slow: tests };
 };
 
 /**
- * Creates the evidence of a move that begins to be watched.
+ * Creates the evidence of a move when a daemon starts to track it.
  *
  * @param now - current instant
  * @returns evidence without counts
  */
 export const initEvidence = (now: Millis): Evidence => ({
-  known: new Map(),
+  reported: new Map(),
   cells: new Map(),
   overall: initTests(),
-  lookedAt: now,
-  newReportAt: now,
+  evaluatedAt: now,
+  newVersionReportAt: now,
 });
 
 const addTally = (left: Tally, right: Tally): Tally => ({
@@ -77,17 +77,17 @@
   [side]: addTallies(sides[side], added),
 });
 
-const computeScaled = ({ answers, faults }: Tally, factor: number): Tally => ({
+const computeScaledTally = ({ answers, faults }: Tally, factor: number): Tally => ({
   answers: answers * factor,
   faults: faults * factor,
 });
 
 const computeScaledTallies = ({ failure, slow }: Tallies, factor: number): Tallies => ({
-  failure: computeScaled(failure, factor),
-  slow: computeScaled(slow, factor),
+  failure: computeScaledTally(failure, factor),
+  slow: computeScaledTally(slow, factor),
 });
 
-const toTallies = (newer: EvidenceCounts, older: EvidenceCounts): Tallies => {
+const computeIncrement = (newer: EvidenceCounts, older: EvidenceCounts): Tallies => {
   const successes = newer.successes - older.successes;
   const failures = newer.failures - older.failures;
   return {
@@ -96,7 +96,7 @@
   };
 };
 
-/** Counts only grow, so the larger one is the newer, whatever order the reports arrive in. */
+/** Counts are cumulative, so the larger one is the newer, in whatever order the reports arrive. */
 const mergeCounts = (left: EvidenceCounts, right: EvidenceCounts): EvidenceCounts => ({
   ...left,
   successes: Math.max(left.successes, right.successes),
@@ -106,11 +106,11 @@
 
 const createCell = (name: CellName): Cell => ({
   name,
-  total: EMPTY_SIDES,
-  stratum: EMPTY_SIDES,
-  looks: 0,
-  latest: EMPTY_SIDES,
-  recent: EMPTY_SIDES,
+  total: EMPTY_SIDE_TALLIES,
+  stratum: EMPTY_SIDE_TALLIES,
+  stratumEvaluations: 0,
+  latest: EMPTY_SIDE_TALLIES,
+  recent: EMPTY_SIDE_TALLIES,
   tests: initTests(),
 });
 
@@ -128,14 +128,14 @@
   const { className, route } = counts;
   const { endpoint, incarnation, dataCentre, version } = report;
   const key = JSON.stringify([endpoint, incarnation, version, className, route]);
-  const known = evidence.known.get(key);
-  // The past of the old version belongs to another time; the new one has none before the move.
+  const reported = evidence.reported.get(key);
+  // Answers of the old version from before the move are from another period; the new has none.
   const empty = { ...counts, successes: 0, failures: 0, slow: 0 };
-  const base = known?.base ?? (side === 'old' ? counts : empty);
-  const before = known?.newest ?? base;
+  const baseline = reported?.baseline ?? (side === 'old' ? counts : empty);
+  const before = reported?.newest ?? baseline;
   const newest = mergeCounts(before, counts);
-  evidence.known.set(key, { base, newest });
-  const added = toTallies(newest, before);
+  evidence.reported.set(key, { baseline, newest });
+  const added = computeIncrement(newest, before);
   if (added.failure.answers === 0 && added.slow.faults === 0) return;
   const cellKey = JSON.stringify([className, dataCentre, route]);
   const cell = evidence.cells.get(cellKey) ?? createCell({ className, dataCentre, route });
@@ -149,14 +149,14 @@
 };
 
 /**
- * Adds one endpoint's cumulative counts. Repeated, late and reordered reports change nothing that is
- * already counted, and counts of an incarnation that ended stay.
+ * Adds one endpoint's cumulative counts. Repeated, late and reordered reports are not counted
+ * twice, and counts of an incarnation that has ended are kept.
  *
- * @param evidence - evidence before the report; its tables are updated in place
- * @param move - move that names the versions
+ * @param evidence - evidence before the report; its maps are updated in place
+ * @param move - move whose versions are compared
  * @param report - counts of one heartbeat
  * @param now - current instant
- * @returns the evidence with the instant of the newest report
+ * @returns the evidence with the instant of the newest report of the new version
  */
 export const addEvidence = (
   evidence: Evidence,
@@ -167,143 +167,151 @@
   const side = resolveSide(move, report.version);
   if (side === null) return evidence;
   for (const counts of report.counts) addCounts(evidence, report, side, counts);
-  return side === 'new' ? { ...evidence, newReportAt: now } : evidence;
+  return side === 'new' ? { ...evidence, newVersionReportAt: now } : evidence;
 };
 
-/** Largest rate of the old version that its past and present leave possible. */
+/** Largest fault rate that the historical and recent answers of the old version allow for. */
 const computeTolerableRate = (cell: Cell, metric: FaultMetric): number => {
-  const past = computeUpperRate(cell.total.old[metric]) * DRIFT_FACTOR + DRIFT_MARGIN;
+  const historical = computeRateUpperBound(cell.total.old[metric]) * DRIFT_FACTOR + DRIFT_MARGIN;
   const recent = cell.recent.old[metric];
-  if (recent.answers < RECENT_OLD_REQUESTS) return Math.min(1, past);
-  return Math.min(1, Math.max(past, (2 * recent.faults) / recent.answers));
+  if (recent.answers < RECENT_MIN_OLD_ANSWERS) return Math.min(1, historical);
+  return Math.min(1, Math.max(historical, (2 * recent.faults) / recent.answers));
 };
 
 const isStratumReady = (cell: Cell): boolean =>
   cell.stratum.new.failure.answers > 0 &&
-  (cell.stratum.old.failure.answers >= STRATUM_OLD_REQUESTS || cell.looks >= STRATUM_MAX_LOOKS);
+  (cell.stratum.old.failure.answers >= STRATUM_MIN_OLD_ANSWERS ||
+    cell.stratumEvaluations >= STRATUM_MAX_EVALUATIONS);
 
-interface LookFactors {
-  readonly present: readonly number[];
-  readonly past: readonly number[];
+/** Log likelihood ratios of one evaluation, by odds ratio. */
+interface LogRatios {
+  readonly concurrent: readonly number[];
+  readonly historical: readonly number[];
 }
 
-const computeFactors = (cell: Cell, metric: FaultMetric): LookFactors => {
+const computeLogRatios = (cell: Cell, metric: FaultMetric): LogRatios => {
   const { stratum, latest } = cell;
   const isReady = isStratumReady(cell);
   const rate = computeTolerableRate(cell, metric);
   return {
-    present: ODDS_RATIOS.map((oddsRatio) =>
-      isReady ? computePresentFactor(stratum.new[metric], stratum.old[metric], oddsRatio) : 0,
+    concurrent: ODDS_RATIOS.map((oddsRatio) =>
+      isReady ? computeConcurrentLogRatio(stratum.new[metric], stratum.old[metric], oddsRatio) : 0,
+    ),
+    historical: ODDS_RATIOS.map((oddsRatio) =>
+      computeHistoricalLogRatio(latest.new[metric], rate, oddsRatio),
     ),
-    past: ODDS_RATIOS.map((oddsRatio) => computePastFactor(latest.new[metric], rate, oddsRatio)),
   };
 };
 
-const updateTests = (tests: MetricTests, factors: LookFactors, weight: number): MetricTests => ({
-  present: updateSequentialTest(tests.present, factors.present, weight),
-  past: updateSequentialTest(tests.past, factors.past, weight),
+const updateTests = (tests: MetricTests, logRatios: LogRatios, weight: number): MetricTests => ({
+  concurrent: updateSequentialTest(tests.concurrent, logRatios.concurrent, weight),
+  historical: updateSequentialTest(tests.historical, logRatios.historical, weight),
 });
 
-const addFactors = (left: LookFactors, right: LookFactors): LookFactors => ({
-  present: left.present.map((factor, index) => factor + (right.present[index] ?? 0)),
-  past: left.past.map((factor, index) => factor + (right.past[index] ?? 0)),
+const addLogRatios = (left: LogRatios, right: LogRatios): LogRatios => ({
+  concurrent: left.concurrent.map((ratio, index) => ratio + (right.concurrent[index] ?? 0)),
+  historical: left.historical.map((ratio, index) => ratio + (right.historical[index] ?? 0)),
 });
 
 const updateCell = (
   cell: Cell,
-  factors: Readonly<Record<FaultMetric, LookFactors>>,
+  logRatios: Readonly<Record<FaultMetric, LogRatios>>,
   weight: number,
 ): Cell => {
   const isClosed = isStratumReady(cell);
   return {
     ...cell,
-    stratum: isClosed ? EMPTY_SIDES : cell.stratum,
-    looks: isClosed ? 0 : cell.looks + 1,
-    latest: EMPTY_SIDES,
+    stratum: isClosed ? EMPTY_SIDE_TALLIES : cell.stratum,
+    stratumEvaluations: isClosed ? 0 : cell.stratumEvaluations + 1,
+    latest: EMPTY_SIDE_TALLIES,
     recent: {
       old: computeScaledTallies(cell.recent.old, RECENT_DECAY),
       new: computeScaledTallies(cell.recent.new, RECENT_DECAY),
     },
     tests: {
-      failure: updateTests(cell.tests.failure, factors.failure, weight),
-      slow: updateTests(cell.tests.slow, factors.slow, weight),
+      failure: updateTests(cell.tests.failure, logRatios.failure, weight),
+      slow: updateTests(cell.tests.slow, logRatios.slow, weight),
     },
   };
 };
 
-const NO_FACTORS: LookFactors = {
-  present: ODDS_RATIOS.map(() => 0),
-  past: ODDS_RATIOS.map(() => 0),
+const NO_LOG_RATIOS: LogRatios = {
+  concurrent: ODDS_RATIOS.map(() => 0),
+  historical: ODDS_RATIOS.map(() => 0),
 };
 
 /**
- * Compares the versions on what was counted since the last look.
+ * Evaluates the counts since the last evaluation and updates the tests of all cells.
  *
- * @param evidence - evidence before the look; its tables are updated in place
- * @param move - move that gives the time over which faults may begin
+ * @param evidence - evidence before the evaluation; its maps are updated in place
+ * @param move - move whose duration the start times of faults are spread over
  * @param now - current instant
- * @returns the evidence after the look
+ * @returns the evidence after the evaluation
  */
-export const observeEvidence = (evidence: Evidence, move: Move, now: Millis): Evidence => {
-  const elapsed = Math.max(0, now - evidence.lookedAt);
+export const compareVersions = (evidence: Evidence, move: Move, now: Millis): Evidence => {
+  const elapsed = Math.max(0, now - evidence.evaluatedAt);
   const weight = ((1 - EARLY_FAULT_WEIGHT) * elapsed) / (move.deadline - move.startedAt);
-  let sum = { failure: NO_FACTORS, slow: NO_FACTORS };
+  let sum = { failure: NO_LOG_RATIOS, slow: NO_LOG_RATIOS };
   for (const [key, cell] of evidence.cells) {
-    const factors = {
-      failure: computeFactors(cell, 'failure'),
-      slow: computeFactors(cell, 'slow'),
+    const logRatios = {
+      failure: computeLogRatios(cell, 'failure'),
+      slow: computeLogRatios(cell, 'slow'),
     };
     sum = {
-      failure: addFactors(sum.failure, factors.failure),
-      slow: addFactors(sum.slow, factors.slow),
+      failure: addLogRatios(sum.failure, logRatios.failure),
+      slow: addLogRatios(sum.slow, logRatios.slow),
     };
-    evidence.cells.set(key, updateCell(cell, factors, weight));
+    evidence.cells.set(key, updateCell(cell, logRatios, weight));
   }
   const overall = {
     failure: updateTests(evidence.overall.failure, sum.failure, weight),
     slow: updateTests(evidence.overall.slow, sum.slow, weight),
   };
-  return { ...evidence, overall, lookedAt: now };
+  return { ...evidence, overall, evaluatedAt: now };
 };
 
-const computeDoubt = (tests: MetricTests): number =>
-  Math.max(computeLogRatio(tests.present), computeLogRatio(tests.past));
+const computeMaxLogEvidence = (tests: MetricTests): number =>
+  Math.max(computeLogEvidence(tests.concurrent), computeLogEvidence(tests.historical));
 
 /**
- * Finds a fault of the new version that is clear at the stated false-alarm rate.
+ * Finds a fault of the new version that is significant at `FALSE_ALARM_RATE`.
  *
- * @param evidence - evidence after its newest look
+ * @param evidence - evidence after its latest evaluation
  * @returns the fault, or null
  */
-export const findFault = (evidence: Evidence): FaultFinding | null => {
+export const findSignificantFault = (evidence: Evidence): FaultFinding | null => {
   for (const metric of METRICS) {
     for (const cell of evidence.cells.values()) {
-      if (computeDoubt(cell.tests[metric]) >= CLEAR_LOG_RATIO) return { metric, cell: cell.name };
+      if (computeMaxLogEvidence(cell.tests[metric]) >= SIGNIFICANT_LOG_EVIDENCE)
+        return { metric, cell: cell.name };
     }
-    if (computeDoubt(evidence.overall[metric]) >= CLEAR_LOG_RATIO) return { metric, cell: null };
+    if (computeMaxLogEvidence(evidence.overall[metric]) >= SIGNIFICANT_LOG_EVIDENCE)
+      return { metric, cell: null };
   }
   return null;
 };
 
-/** What the evidence says about one route. */
+/** Evidence of one route over its classes and data centres. */
 export interface RouteEvidence {
   /** Answers of the new version. */
   readonly answers: number;
+  /** Decaying counts of recent answers of the old version. */
   readonly recentOld: number;
+  /** Decaying counts of recent answers of the new version. */
   readonly recentNew: number;
-  /** Largest evidence against the new version, as a logarithm. */
-  readonly doubt: number;
+  /** Largest log evidence against the new version. */
+  readonly logEvidence: number;
 }
 
-const NO_ROUTE_EVIDENCE: RouteEvidence = { answers: 0, recentOld: 0, recentNew: 0, doubt: 0 };
+const NO_ROUTE_EVIDENCE: RouteEvidence = { answers: 0, recentOld: 0, recentNew: 0, logEvidence: 0 };
 
 /**
  * Collects the evidence by route.
  *
- * @param evidence - evidence after its newest look
+ * @param evidence - evidence after its latest evaluation
  * @returns one entry for each route on which a version answered
  */
-export const collectRoutes = (evidence: Evidence): ReadonlyMap<string, RouteEvidence> => {
+export const collectRouteEvidence = (evidence: Evidence): ReadonlyMap<string, RouteEvidence> => {
   const routes = new Map<string, RouteEvidence>();
   for (const { name, total, recent, tests } of evidence.cells.values()) {
     const route = routes.get(name.route) ?? NO_ROUTE_EVIDENCE;
@@ -311,7 +319,11 @@
       answers: route.answers + total.new.failure.answers,
       recentOld: route.recentOld + recent.old.failure.answers,
       recentNew: route.recentNew + recent.new.failure.answers,
-      doubt: Math.max(route.doubt, computeDoubt(tests.failure), computeDoubt(tests.slow)),
+      logEvidence: Math.max(
+        route.logEvidence,
+        computeMaxLogEvidence(tests.failure),
+        computeMaxLogEvidence(tests.slow),
+      ),
     });
   }
   return routes;
--- a/packages/decisions/moves/notices.ts
+++ b/packages/decisions/moves/notices.ts
@@ -1,9 +1,9 @@
 import {
-  NOTICE_APPEND_AGAIN_MS,
+  NOTICE_APPEND_RETRY_MS,
   NOTICE_RETRY_FIRST_MS,
   NOTICE_RETRY_MAX_MS,
-  NOTICE_SPREAD_MS,
-  NOTICE_TAKE_OVER_MS,
+  NOTICE_TAKEOVER_MS,
+  NOTICE_TAKEOVER_SPREAD_MS,
 } from './constants.js';
 import type {
   EndedMove,
@@ -20,8 +20,8 @@
 type NoticeStep = Step<NoticeState, NoticeEffect>;
 
 /**
- * Formats the id of a notice. It is the same whichever daemon sends it, so that its receiver can
- * drop repetitions.
+ * Formats the id of a notice. It is the same whichever daemon sends the notice, so that the
+ * receiver can drop duplicates.
  *
  * @param ended - end of the move
  * @returns the id
@@ -43,7 +43,7 @@
     const isFirst = role === 'author' && known.phase === 'waiting' && known.failures === 0;
     return isFirst ? sendNotice(state, id, known) : toStep(state);
   }
-  const dueAt = now + NOTICE_TAKE_OVER_MS + order * NOTICE_SPREAD_MS;
+  const dueAt = now + NOTICE_TAKEOVER_MS + order * NOTICE_TAKEOVER_SPREAD_MS;
   const notice: OpenNotice = { ended, phase: 'waiting', dueAt, failures: 0 };
   return role === 'author'
     ? sendNotice(state, id, notice)
@@ -63,7 +63,7 @@
   notice: OpenNotice,
   now: Millis,
 ): NoticeStep => {
-  const dueAt = now + NOTICE_APPEND_AGAIN_MS;
+  const dueAt = now + NOTICE_APPEND_RETRY_MS;
   const { ended } = notice;
   return toStep(updateNotice(state, id, { ...notice, phase: 'sent', dueAt }), {
     kind: 'append-notified',
@@ -88,7 +88,12 @@
   return toStep(updateNotice(state, id, waiting));
 };
 
-const handleDue = (state: NoticeState, id: string, notice: OpenNotice, now: Millis): NoticeStep => {
+const handleNoticeTick = (
+  state: NoticeState,
+  id: string,
+  notice: OpenNotice,
+  now: Millis,
+): NoticeStep => {
   if (now < notice.dueAt) return toStep(state);
   switch (notice.phase) {
     case 'waiting':
@@ -105,19 +110,19 @@
 const handleTick = (state: NoticeState, now: Millis): NoticeStep => {
   let step: NoticeStep = toStep(state);
   for (const [id, notice] of state) {
-    const next = handleDue(step.state, id, notice, now);
+    const next = handleNoticeTick(step.state, id, notice, now);
     step = { state: next.state, effects: [...step.effects, ...next.effects] };
   }
   return step;
 };
 
 /**
- * Decides about the notices of ended moves. The daemon that appended the terminal record sends the
- * notice at once and then appends a record of it; a daemon that has not read that record after a
- * while sends the notice itself.
+ * Decides when to notify operators of ended moves. The daemon that appended the terminal record
+ * sends the notice at once and then appends a record of it. Another daemon takes over if it has not
+ * read that record after `NOTICE_TAKEOVER_MS` plus its share of `NOTICE_TAKEOVER_SPREAD_MS`.
  *
  * @param state - open notices of this process
- * @param event - what the log showed, how a call ended, or a tick
+ * @param event - record read from the log, result of a webhook call, or tick
  * @returns the next state, notices to send and records to append
  */
 export const decideNotice = (state: NoticeState, event: NoticeEvent): NoticeStep => {
