Rename the symbols of move and configuration decisions to terms of the field

The old names were private to the project or did not say what the code holds. Applied by the language service:

- getShare -> getNewVersionShare

--- a/packages/decisions/moves/move.test.ts
+++ b/packages/decisions/moves/move.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { decideMove, getShare, initMove } from './move.js';
+import { decideMove, getNewVersionShare, initMove } from './move.js';
 import { buildReportsProperty } from './moveProperty.fixture.js';
 import { MOVE } from './moveSimulation.fixture.js';
 import {
@@ -113,9 +113,9 @@
 // Guards against a stop that waits for the log, and against a lost append that is never retried.
 test('a stop is effective locally at once, and its record is appended until read back', (t) => {
   const moving = decideMove(initMove(), { kind: 'move-record', move: MOVE, now: 0 }).state;
-  t.is(getShare(moving, 'r'), 0.04);
+  t.is(getNewVersionShare(moving, 'r'), 0.04);
   const stopped = decideMove(moving, { kind: 'take-back-order', author: 'o', now: 10 });
-  t.is(getShare(stopped.state, 'r'), 0);
+  t.is(getNewVersionShare(stopped.state, 'r'), 0);
   t.deepEqual(stopped.effects.at(-1), { kind: 'append-ended', name: 'm', outcome: 'taken-back' });
   const again = decideMove(stopped.state, { kind: 'tick', now: 2_010 });
   t.deepEqual(again.effects, [{ kind: 'append-ended', name: 'm', outcome: 'taken-back' }]);
--- a/packages/decisions/moves/move.ts
+++ b/packages/decisions/moves/move.ts
@@ -53,7 +53,7 @@
  * @param route - route of the request
  * @returns the share, from 0 to 1
  */
-export const getShare = (state: MoveState, route: string): number => {
+export const getNewVersionShare = (state: MoveState, route: string): number => {
   switch (state.phase) {
     case 'idle':
     case 'stopping':
--- a/packages/decisions/moves/moveSimulation.fixture.ts
+++ b/packages/decisions/moves/moveSimulation.fixture.ts
@@ -1,4 +1,4 @@
-import { decideMove, getShare, initMove } from './move.js';
+import { decideMove, getNewVersionShare, initMove } from './move.js';
 import { chooseVersion } from './share.js';
 import type { EvidenceCounts, Move, MoveEvent, MoveOutcome, MoveState } from './types.js';
 import { createRandomSource } from '../../core/random.js';
@@ -178,7 +178,7 @@
     const route = ROUTES[random.next() < 0.6 ? 0 : 1] as string;
     const className = CLASSES[random.next() < 0.7 ? 0 : 1] as string;
     const hash = Math.floor(random.next() * 2 ** 32);
-    const isNew = chooseVersion(getShare(entry, route), hash) === 'new';
+    const isNew = chooseVersion(getNewVersionShare(entry, route), hash) === 'new';
     const endpoint = endpoints[(isNew ? 4 : 0) + Math.floor(random.next() * 4)];
     if (endpoint === undefined) return;
     started += 1;
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -8,7 +8,7 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { MoveView } from '../../decisions/configuration/types.js';
-import { decideMove, getShare, initMove } from '../../decisions/moves/move.js';
+import { decideMove, getNewVersionShare, initMove } from '../../decisions/moves/move.js';
 import { decideNotice } from '../../decisions/moves/notices.js';
 import type { NoticeEvent, NoticeState } from '../../decisions/moves/noticeTypes.js';
 import { chooseVersion } from '../../decisions/moves/share.js';
@@ -100,7 +100,7 @@
   switch (effect.kind) {
     case 'shares-changed': {
       const shares = [...effect.routes].map(([route, share]) => `${route}=${share.toString()}`);
-      const share = getShare(move.state, CHAT_ROUTE);
+      const share = getNewVersionShare(move.state, CHAT_ROUTE);
       const details = { entity: name, data: { shares, share } };
       return [{ kind: 'log', name: 'move-share-changed', details }];
     }
@@ -271,7 +271,7 @@
     if (newest === undefined || move.view.offset > newest.view.offset) newest = move;
   }
   if (newest === undefined) return null;
-  const side = chooseVersion(getShare(newest.state, CHAT_ROUTE), hash(requestId));
+  const side = chooseVersion(getNewVersionShare(newest.state, CHAT_ROUTE), hash(requestId));
   const { from, to } = newest.view;
   // The reverse would give a version on trial more than its share.
   return side === 'new' ? { version: to, otherwise: from } : { version: from, otherwise: null };
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -50,7 +50,7 @@
 import type { ChildFailure } from '../core/supervision/types.js';
 import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { countKeys, findChain } from '../decisions/idempotency/table.js';
-import { getShare } from '../decisions/moves/move.js';
+import { getNewVersionShare } from '../decisions/moves/move.js';
 import { createPlacementTable } from '../decisions/placement/own.js';
 import { createBudgetTable } from '../decisions/retries/budgetTable.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
@@ -203,7 +203,7 @@
     from: view.from,
     to: view.to,
     deadline: view.deadline,
-    share: getShare(state, CHAT_ROUTE),
+    share: getNewVersionShare(state, CHAT_ROUTE),
     state: view.ended?.outcome ?? state.phase,
     reason: view.ended?.reason ?? reason,
   }));
