Reword the forwarding constants, endpoint health and retry budget

"Weight of the newest answer in the rates" did not say that the rates are moving averages, "refused for want of room" meant lack of capacity, "repeat" a retry or a hedge, and "slice" a bucket of the sliding window. Back-offs, the half-life and the crash threshold now carry these names. The comment on the budget's buckets said that each is half as long as the window; the code divides the window into 20.

--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -1,38 +1,38 @@
-/** Windows kept of the retry budget, each half as long as the budget's own window. */
-export const BUDGET_SLICES = 20;
+/** Buckets that the sliding window of the retry budget is divided into. */
+export const BUDGET_BUCKETS = 20;
 
-/** Part of the shared retry budget that is used; the rest covers peers that were not counted. */
-export const BUDGET_USE = 0.8;
+/** Share of the retry budget that is spent; the rest covers peers that were not counted. */
+export const BUDGET_UTILIZATION = 0.8;
 
-/** Time in which a connection to an endpoint has to be made. */
+/** Timeout for connecting to an endpoint. */
 export const CONNECT_TIMEOUT_MS = 250;
 
-/** Largest event of a stream that is kept until its end has come. */
+/** Size limit of a stream event, which is buffered until it is complete. */
 export const MAX_EVENT_BYTES = 256 * 1024;
 
-/** Output tokens assumed of a generation whose caller estimates none. */
+/** Output length assumed for a generation whose caller sends no estimate, in tokens. */
 export const DEFAULT_OUTPUT_TOKENS = 256;
 
-/** Crashes of different endpoints after which a request is refused. */
-export const CRASHES_TO_REFUSE = 3;
+/** Number of different endpoints that have to crash on a request before it is refused. */
+export const CRASH_REFUSAL_THRESHOLD = 3;
 
-/** How long the crashes of a request are remembered. */
-export const CRASH_MEMORY_MS = 120_000;
+/** Time after the last crash for which the crashes of a request are kept. */
+export const CRASH_RETENTION_MS = 120_000;
 
-/** Requests whose crashes are remembered; the oldest is dropped. */
+/** Limit of the requests whose crashes are kept; above it the oldest is evicted. */
 export const MAX_CRASH_RECORDS = 2_000;
 
-/** How long a failed connection attempt keeps an endpoint out of use. */
-export const UNREACHABLE_MS = 1_000;
+/** Back-off for an endpoint after a failed connection attempt. */
+export const UNREACHABLE_BACKOFF_MS = 1_000;
 
-/** Weight of the newest answer in the rates of an endpoint. */
-export const HEALTH_WEIGHT = 0.15;
+/** Weight of the newest sample in an endpoint's moving averages of failure rate and latency. */
+export const HEALTH_SAMPLE_WEIGHT = 0.15;
 
-/** Time in which an observed failure rate halves while nothing is observed. */
-export const HEALTH_HALF_LIFE_MS = 4_000;
+/** Half-life of an observed failure rate while there are no new observations. */
+export const FAILURE_RATE_HALF_LIFE_MS = 4_000;
 
-/** Pause of an endpoint that refused for want of room, before it is offered more. */
-export const FULL_PAUSE_MS = 40;
+/** Back-off for an endpoint that refused a request for lack of capacity. */
+export const OVERLOAD_BACKOFF_MS = 40;
 
-/** Weight of an output token in the worth of a generation, against a token of its prompt. */
+/** Weight of an output token in the transfer priority of a generation, relative to a prompt token. */
 export const OUTPUT_TOKEN_WORTH = 10;
--- a/packages/decisions/forwarding/crashSuspicion.test.ts
+++ b/packages/decisions/forwarding/crashSuspicion.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
-import { CRASH_MEMORY_MS, MAX_CRASH_RECORDS } from './constants.js';
+import { CRASH_RETENTION_MS, MAX_CRASH_RECORDS } from './constants.js';
 import { checkCrashes, createCrashTable, recordCrash } from './crashSuspicion.js';
 
-// Guards against a request that takes down one endpoint after the other.
+// Guards against a request that crashes one endpoint after the other.
 test('a request that crashed three endpoints is refused for a while', (t) => {
   const table = createCrashTable();
   recordCrash(table, 'f', 'e-1', 0);
@@ -12,11 +12,11 @@
   recordCrash(table, 'f', 'e-3', 4);
   t.is(checkCrashes(table, 'f', 5), 'refuse');
   t.is(checkCrashes(table, 'g', 5), 'accept');
-  t.is(checkCrashes(table, 'f', 5 + CRASH_MEMORY_MS), 'accept');
+  t.is(checkCrashes(table, 'f', 5 + CRASH_RETENTION_MS), 'accept');
 });
 
-// Guards against a table that grows with every connection that breaks.
-test('the oldest crash is forgotten above the bound', (t) => {
+// Guards against a crash table that grows without bound as connections break.
+test('the oldest crash record is evicted above the bound', (t) => {
   const table = createCrashTable();
   for (let number = 0; number <= MAX_CRASH_RECORDS; number += 1) {
     recordCrash(table, `f-${number.toString()}`, 'e-1', number);
--- a/packages/decisions/forwarding/crashSuspicion.ts
+++ b/packages/decisions/forwarding/crashSuspicion.ts
@@ -1,15 +1,16 @@
-import { CRASHES_TO_REFUSE, CRASH_MEMORY_MS, MAX_CRASH_RECORDS } from './constants.js';
+import { CRASH_REFUSAL_THRESHOLD, CRASH_RETENTION_MS, MAX_CRASH_RECORDS } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Crashes after one request content; `endpoints` tells them apart. */
+/** Endpoints that crashed while they ran requests with the same content. */
 interface CrashRecord {
   readonly endpoints: Set<string>;
+  /** Instant of the latest crash. */
   at: Millis;
 }
 
 /**
- * Requests whose endpoints crashed while they ran, by fingerprint of the content. Only this module
- * updates it.
+ * Crashes of endpoints by the fingerprint of the request that they ran, oldest first. Only this
+ * module updates it.
  */
 export type CrashTable = Map<string, CrashRecord>;
 
@@ -21,7 +22,8 @@
 export const createCrashTable = (): CrashTable => new Map();
 
 /**
- * Adds a crash of an endpoint that ran a request.
+ * Records that an endpoint crashed while it ran a request. Above `MAX_CRASH_RECORDS` the record with
+ * the oldest latest crash is evicted.
  *
  * @param table - table to update
  * @param fingerprint - hash of the request's content
@@ -35,7 +37,7 @@
   now: Millis,
 ): void => {
   const known = table.get(fingerprint);
-  const isStale = known === undefined || now - known.at > CRASH_MEMORY_MS;
+  const isStale = known === undefined || now - known.at > CRASH_RETENTION_MS;
   const record = isStale ? { endpoints: new Set<string>(), at: now } : known;
   record.endpoints.add(endpoint);
   record.at = now;
@@ -47,12 +49,12 @@
 };
 
 /**
- * Tells whether a request has crashed so many endpoints that it is refused.
+ * Decides whether a request is refused because too many endpoints crashed while they ran it.
  *
  * @param table - known crashes
  * @param fingerprint - hash of the request's content
  * @param now - current instant
- * @returns `refuse` above the bound
+ * @returns `refuse` from `CRASH_REFUSAL_THRESHOLD` different endpoints on
  */
 export const checkCrashes = (
   table: CrashTable,
@@ -60,6 +62,6 @@
   now: Millis,
 ): 'accept' | 'refuse' => {
   const record = table.get(fingerprint);
-  if (record === undefined || now - record.at > CRASH_MEMORY_MS) return 'accept';
-  return record.endpoints.size >= CRASHES_TO_REFUSE ? 'refuse' : 'accept';
+  if (record === undefined || now - record.at > CRASH_RETENTION_MS) return 'accept';
+  return record.endpoints.size >= CRASH_REFUSAL_THRESHOLD ? 'refuse' : 'accept';
 };
--- a/packages/decisions/forwarding/endpointHealth.ts
+++ b/packages/decisions/forwarding/endpointHealth.ts
@@ -1,25 +1,30 @@
-import { FULL_PAUSE_MS, HEALTH_HALF_LIFE_MS, HEALTH_WEIGHT, UNREACHABLE_MS } from './constants.js';
+import {
+  OVERLOAD_BACKOFF_MS,
+  FAILURE_RATE_HALF_LIFE_MS,
+  HEALTH_SAMPLE_WEIGHT,
+  UNREACHABLE_BACKOFF_MS,
+} from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 
-/** How one attempt at an endpoint ended, as far as it speaks for or against the endpoint. */
+/** What the end of an attempt shows about the health of its endpoint. */
 export type AttemptSign =
   | { readonly kind: 'answered'; readonly durationMs: Millis }
-  /** It refused the request for want of room. */
+  /** The endpoint refused the request for lack of capacity. */
   | { readonly kind: 'full' }
-  /** It failed the request, broke it off, sent bytes that are no answer, or stayed silent. */
+  /** The endpoint returned an error, broke the connection, sent an invalid answer or did not answer in time. */
   | { readonly kind: 'failed' }
-  /** No connection could be made. */
+  /** The connection could not be established. */
   | { readonly kind: 'unreachable' };
 
-/** What this daemon has seen of one endpoint. */
+/** Health of one endpoint as this daemon observed it. */
 export interface EndpointHealth {
-  /** Share of failed attempts at `observedAt`; it fades from then on. */
+  /** Moving average of the share of failed attempts at `observedAt`; it decays from then on. */
   readonly failureRate: number;
   readonly observedAt: Millis;
-  /** Mean duration of whole answers; null before the first. */
+  /** Moving average of the duration of whole answers; null before the first. */
   readonly answerMs: Millis | null;
-  /** Until then no request is sent to it. */
+  /** Instant until which no requests are sent to the endpoint. */
   readonly avoidUntil: Millis;
 }
 
@@ -30,18 +35,19 @@
   avoidUntil: 0,
 };
 
-const updateMean = (mean: number, sample: number): number => mean + (sample - mean) * HEALTH_WEIGHT;
+const updateMean = (mean: number, sample: number): number =>
+  mean + (sample - mean) * HEALTH_SAMPLE_WEIGHT;
 
 /**
- * Computes the failure rate at an instant. It fades while nothing is observed, so that an endpoint
- * that got no requests because of its failures is tried again.
+ * Computes the failure rate at an instant. It decays without new observations, so that an endpoint
+ * that received no requests because of its failures is tried again.
  *
- * @param health - what was observed
+ * @param health - observed health
  * @param now - current instant
- * @returns share of attempts that are expected to fail
+ * @returns expected share of failed attempts
  */
 export const computeFailureRate = (health: EndpointHealth, now: Millis): number =>
-  health.failureRate * 0.5 ** (Math.max(0, now - health.observedAt) / HEALTH_HALF_LIFE_MS);
+  health.failureRate * 0.5 ** (Math.max(0, now - health.observedAt) / FAILURE_RATE_HALF_LIFE_MS);
 
 const addSample = (health: EndpointHealth, sample: 0 | 1, now: Millis): EndpointHealth => ({
   ...health,
@@ -50,31 +56,32 @@
 });
 
 /**
- * Adds the end of one attempt to what is known of an endpoint.
+ * Updates the health of an endpoint after an attempt.
  *
- * @param health - state before
- * @param sign - how the attempt ended
+ * @param health - health before the attempt
+ * @param observation - how the attempt ended
  * @param now - current instant
- * @returns state after
+ * @returns the updated health
  */
 export const observeAttempt = (
   health: EndpointHealth,
-  sign: AttemptSign,
+  observation: AttemptSign,
   now: Millis,
 ): EndpointHealth => {
-  switch (sign.kind) {
+  switch (observation.kind) {
     case 'answered': {
       const { answerMs } = health;
-      const mean = answerMs === null ? sign.durationMs : updateMean(answerMs, sign.durationMs);
+      const mean =
+        answerMs === null ? observation.durationMs : updateMean(answerMs, observation.durationMs);
       return { ...addSample(health, 0, now), answerMs: mean };
     }
     case 'full':
-      return { ...health, avoidUntil: Math.max(health.avoidUntil, now + FULL_PAUSE_MS) };
+      return { ...health, avoidUntil: Math.max(health.avoidUntil, now + OVERLOAD_BACKOFF_MS) };
     case 'failed':
       return addSample(health, 1, now);
     case 'unreachable':
-      return { ...addSample(health, 1, now), avoidUntil: now + UNREACHABLE_MS };
+      return { ...addSample(health, 1, now), avoidUntil: now + UNREACHABLE_BACKOFF_MS };
     default:
-      return assertNever(sign);
+      return assertNever(observation);
   }
 };
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -1,77 +1,79 @@
-import { BUDGET_SLICES, BUDGET_USE } from './constants.js';
+import { BUDGET_BUCKETS, BUDGET_UTILIZATION } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Bound of repeats that all daemons share. */
+/** Limit of the retries of one service that all daemons share. */
 export interface BudgetRule {
-  /** Repeats allowed for each request. */
+  /** Retries allowed for each request. */
   readonly ratio: number;
-  /** Repeats allowed in a window beyond the ratio, over all daemons. */
+  /** Retries allowed in a window in addition to the ratio, over all daemons. */
   readonly slack: number;
   readonly windowMs: Millis;
 }
 
-interface Slice {
+/** Requests and retries within one part of the sliding window. */
+interface Bucket {
   readonly number: number;
   requests: number;
-  repeats: number;
+  retries: number;
 }
 
-/** Requests and repeats of one service in this daemon; only this module updates it. */
+/** Sliding window of one service's requests and retries in this daemon; only this module updates it. */
 export interface BudgetWindow {
-  readonly slices: Slice[];
+  readonly buckets: Bucket[];
 }
 
 /**
- * Creates a window without requests.
+ * Creates an empty window.
  *
- * @returns the empty window
+ * @returns a window without requests and retries
  */
-export const createBudgetWindow = (): BudgetWindow => ({ slices: [] });
+export const createBudgetWindow = (): BudgetWindow => ({ buckets: [] });
 
-const findSlice = (window: BudgetWindow, rule: BudgetRule, now: Millis): Slice => {
-  const number = Math.floor((now * BUDGET_SLICES) / rule.windowMs);
-  while (window.slices[0] !== undefined && window.slices[0].number <= number - BUDGET_SLICES) {
-    window.slices.shift();
+const findBucket = (window: BudgetWindow, settings: BudgetRule, now: Millis): Bucket => {
+  const number = Math.floor((now * BUDGET_BUCKETS) / settings.windowMs);
+  while (window.buckets[0] !== undefined && window.buckets[0].number <= number - BUDGET_BUCKETS) {
+    window.buckets.shift();
   }
-  const last = window.slices.at(-1);
+  const last = window.buckets.at(-1);
   if (last?.number === number) return last;
-  const slice = { number, requests: 0, repeats: 0 };
-  window.slices.push(slice);
-  return slice;
+  const bucket = { number, requests: 0, retries: 0 };
+  window.buckets.push(bucket);
+  return bucket;
 };
 
 /**
  * Counts a request of a caller.
  *
  * @param window - window of its service
- * @param rule - bound of the repeats
+ * @param settings - limits of the budget
  * @param now - current instant
  */
-export const countRequest = (window: BudgetWindow, rule: BudgetRule, now: Millis): void => {
-  findSlice(window, rule, now).requests += 1;
+export const countRequest = (window: BudgetWindow, settings: BudgetRule, now: Millis): void => {
+  findBucket(window, settings, now).requests += 1;
 };
 
 /**
- * Takes one repeat from this daemon's part of the budget. The fixed slack is divided by the number
- * of daemons, since no daemon sees the repeats of the others in time.
+ * Takes one retry from this daemon's part of the budget; a hedge counts as a retry. The fixed slack
+ * is divided by the number of daemons, since no daemon sees the retries of the others in time.
  *
  * @param window - window of the service
- * @param rule - bound of the repeats
- * @param daemons - daemons that share the slack
+ * @param settings - limits of the budget
+ * @param daemons - number of daemons that share the slack
  * @param now - current instant
- * @returns `taken`, or `spent` when the part of this daemon is used up
+ * @returns `taken`, or `spent` when this daemon's part is used up
  */
 export const takeRepeat = (
   window: BudgetWindow,
-  rule: BudgetRule,
+  settings: BudgetRule,
   daemons: number,
   now: Millis,
 ): 'taken' | 'spent' => {
-  const slice = findSlice(window, rule, now);
-  const requests = window.slices.reduce((sum, { requests: count }) => sum + count, 0);
-  const repeats = window.slices.reduce((sum, { repeats: count }) => sum + count, 0);
-  const allowed = BUDGET_USE * (requests * rule.ratio + rule.slack / Math.max(1, daemons));
-  if (repeats + 1 > allowed) return 'spent';
-  slice.repeats += 1;
+  const bucket = findBucket(window, settings, now);
+  const requests = window.buckets.reduce((sum, { requests: count }) => sum + count, 0);
+  const retries = window.buckets.reduce((sum, { retries: count }) => sum + count, 0);
+  const allowed =
+    BUDGET_UTILIZATION * (requests * settings.ratio + settings.slack / Math.max(1, daemons));
+  if (retries + 1 > allowed) return 'spent';
+  bucket.retries += 1;
   return 'taken';
 };
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -3,38 +3,38 @@
 
 export type ServiceName = string;
 
-/** What may be repeated: `once` runs at most one time for each request of a caller. */
-export type RepeatRule = 'idempotent' | 'once';
+/** Whether a request may be sent again after it may have run: `once` requests run at most once. */
+export type RetryPolicy = 'idempotent' | 'once';
 
-/** How an answer is delivered: as one body, or as events that are passed on as they come. */
+/** How an answer is delivered: as one body, or as a stream of events that are forwarded on arrival. */
 export type AnswerShape = 'whole' | 'stream';
 
-/** Whether another endpoint may go on with a stream after a given event. */
-export type ResumeRule = 'resumable' | 'single-run';
+/** Whether another endpoint can resume a stream after a given event. */
+export type ResumePolicy = 'resumable' | 'single-run';
 
-/** One part of a route's traffic. */
+/** Service that receives a share of a route's traffic, in proportion to its weight. */
 export interface RouteTarget {
   readonly service: ServiceName;
   readonly weight: number;
 }
 
-/** Rule for the requests of one host and path prefix. */
+/** How requests for one host and path prefix are forwarded. */
 export interface Route {
   readonly name: string;
   readonly host: string;
   readonly pathPrefix: string;
   readonly answer: AnswerShape;
-  readonly repeat: RepeatRule;
-  readonly resume: ResumeRule;
-  /** Longest time that a caller is kept waiting for the end of the answer. */
+  readonly repeat: RetryPolicy;
+  readonly resume: ResumePolicy;
+  /** Time from the arrival of a request within which its answer has to be complete. */
   readonly timeoutMs: Millis;
-  /** Time within which an answer, or the first event of a stream, is on time. */
+  /** Latency target of a whole answer, or of the first event of a stream. */
   readonly targetMs: Millis;
-  /** Longest pause between events of a stream that is on time. */
+  /** Target for the longest gap between two events of a stream; null without one. */
   readonly gapTargetMs: Millis | null;
-  /** Endpoints to which one request may be sent. */
+  /** Number of endpoints at which one request may run. */
   readonly maxEndpoints: number;
-  /** Rank among requests; 0 is the most urgent. */
+  /** Priority of the requests; 0 is the most urgent. */
   readonly rank: number;
   readonly access: 'public' | 'keyed';
   readonly targets: readonly RouteTarget[];
@@ -43,13 +43,13 @@
 /** Properties of the model engines of a service. */
 export interface EngineTraits {
   readonly slots: number;
-  /** Tokens that running requests and cached prompts of one engine share. */
+  /** Capacity in tokens that running requests and cached prompts of one engine share. */
   readonly memoryTokens: number;
-  /** Tokens that one event of a stream holds. */
+  /** Output tokens in each event of a stream. */
   readonly tokensPerEvent: number;
-  /** Whether an engine sends a growing copy of a generation to another. */
+  /** Whether an engine can replicate a running generation to another engine. */
   readonly backups: 'supported' | 'unsupported';
-  /** Whether a running generation can be taken to another engine. */
+  /** Whether a running generation can be transferred to another engine. */
   readonly moves: 'supported' | 'unsupported';
 }
 
@@ -57,20 +57,20 @@
   readonly name: ServiceName;
   readonly healthPath: string;
   readonly maxConnections: number;
-  /** Requests a second that a cold endpoint bears; 0 without a bound. */
+  /** Limit of the requests per second to a cold endpoint; 0 means no limit. */
   readonly coldPerSecond: number;
   readonly engine: EngineTraits | null;
 }
 
-/** A customer and the keys that its requests carry. */
+/** A customer and the API keys of its requests. */
 export interface Customer {
   readonly name: CustomerId;
   readonly keys: readonly string[];
-  /** Rank that goes before that of the route. */
+  /** Priority that overrides the one of the route; null without one. */
   readonly rank: number | null;
 }
 
-/** Bounds of what a caller may send. */
+/** Limits on the connections and requests of callers. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
@@ -78,13 +78,13 @@
   readonly idleTimeoutMs: Millis;
 }
 
-/** One whole configuration; a higher version replaces it. */
+/** A complete configuration; one with a higher version replaces it. */
 export interface ForwardingConfiguration {
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
-  /** Null when requests need no key. */
+  /** Customers with their keys; null when requests need no key. */
   readonly customers: readonly Customer[] | null;
 }
 
@@ -93,7 +93,7 @@
   readonly port: number;
 }
 
-/** An endpoint as it registered itself. */
+/** An endpoint's registration. */
 export interface EndpointRecord {
   readonly id: EndpointId;
   readonly service: ServiceName;
@@ -103,11 +103,11 @@
   readonly slots: number;
   readonly phase: 'ready' | 'leaving';
   readonly coldForMs: Millis;
-  /** Instant of the endpoint's start by its own clock, to tell two lives under one id apart. */
+  /** Start time by the endpoint's own clock; it distinguishes two incarnations under one id. */
   readonly startedAt: Millis | null;
 }
 
-/** What a generation asks of an engine. */
+/** Resources that a generation needs of an engine. */
 export interface GenerationDemand {
   readonly model: string;
   readonly promptTokens: number;
@@ -116,22 +116,22 @@
   readonly expectedOutputTokens: number | null;
 }
 
-/** A request as a caller sent it, without the headers that are the system's to set. */
+/** A request as received from a caller, without the headers that the gateway sets itself. */
 export interface ForwardRequest {
-  /** Number within this process; the caller's own id is `id`. */
+  /** Number that is unique within this process; `id` is the caller's request id. */
   readonly key: number;
   readonly id: string;
   readonly method: string;
   readonly path: string;
   readonly host: string;
-  /** Names and values in turn, in the caller's order and spelling. */
+  /** Alternating header names and values, in the caller's order and spelling. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
   readonly credential: string | null;
-  /** Time that the caller waits, counted from `receivedAt`; null when it sent none. */
+  /** The caller's timeout, counted from `receivedAt`; null when it sent none. */
   readonly patienceMs: Millis | null;
   readonly demand: GenerationDemand | null;
-  /** Last event that the caller has of an earlier answer. */
+  /** Id of the last event that the caller received of an earlier answer; null for a new request. */
   readonly lastEventId: string | null;
   readonly receivedAt: Millis;
 }
