Reword the event splitter and the routing

"Bytes of an event whose end has not come" are those of an incomplete event. Routing comments name the API key and the weights of the targets, and the tests say which failure they guard against in the same terms.

--- a/packages/decisions/forwarding/eventSplitter.test.ts
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -20,14 +20,14 @@
   .tuple(fc.nat(999), fc.stringMatching(/^[a-z ]{0,20}$/), fc.constantFrom('\n', '\r\n'))
   .map(([id, data, end]) => `id: ${id.toString()}${end}data: ${data}${end}${end}`);
 
-// Guards against events that change, get lost or are passed on in part when chunks fall inside them.
-test('chunks of any size give the same events and bytes', (t) => {
+// Guards against events that are altered, lost or forwarded in part when a chunk ends inside them.
+test('events and bytes do not depend on the chunk sizes', (t) => {
   const property = fc.property(
     fc.array(event, { maxLength: 6 }),
     fc.stringMatching(/^[a-z]{0,8}$/),
     fc.array(fc.integer({ min: 1, max: 7 }), { minLength: 1, maxLength: 9 }),
-    (events, torn, sizes) => {
-      const whole = Buffer.from(events.join('') + torn);
+    (events, partial, sizes) => {
+      const whole = Buffer.from(events.join('') + partial);
       const chunks: Uint8Array[] = [];
       for (let at = 0, turn = 0; at < whole.length; turn += 1) {
         const size = sizes[turn % sizes.length] as number;
@@ -39,7 +39,7 @@
         result.events.map(({ bytes }) => toText(bytes)),
         events,
       );
-      t.is(toText(result.rest), torn);
+      t.is(toText(result.rest), partial);
       t.deepEqual(
         result.events.map(({ id }) => id),
         events.map((each) => /id: (\d+)/.exec(each)?.[1]),
@@ -49,8 +49,8 @@
   fc.assert(property, { seed: 11, numRuns: 300 });
 });
 
-// Guards against memory that grows with an endpoint that never ends an event.
-test('an event without an end is too large in the end', (t) => {
+// Guards against unbounded memory use when an endpoint never completes an event.
+test('an incomplete event above the size limit is reported as too large', (t) => {
   const result = splitEvents(EMPTY_SPLITTER, Buffer.alloc(300 * 1024, 'x'));
   t.is(result.outcome, 'too-large');
 });
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -1,13 +1,13 @@
 import { MAX_EVENT_BYTES } from './constants.js';
 
-/** One whole event of a stream, as the bytes that came. */
+/** A complete event of a stream, as the bytes that were received. */
 export interface StreamEvent {
   readonly bytes: Uint8Array;
-  /** Value of its `id` line, or null without one. */
+  /** Value of the event's `id` field, or null without one. */
   readonly id: string | null;
 }
 
-/** Bytes of an event whose end has not come yet. */
+/** Received bytes of an event that is not complete yet. */
 export interface SplitterState {
   readonly rest: Uint8Array;
 }
@@ -15,7 +15,7 @@
 export interface SplitResult {
   readonly state: SplitterState;
   readonly events: readonly StreamEvent[];
-  /** `too-large`: an event exceeds the bound, so the stream is not one of events. */
+  /** `too-large`: the incomplete event exceeds `MAX_EVENT_BYTES`, so this is not an event stream. */
   readonly outcome: 'ok' | 'too-large';
 }
 
@@ -33,7 +33,7 @@
   return joined;
 };
 
-/** Returns the offset after the next blank line, or -1. */
+/** Returns the offset after the next blank line, or -1 without one. */
 const findEventEnd = (bytes: Uint8Array, from: number): number => {
   for (let at = from; at < bytes.length; at += 1) {
     if (bytes[at] !== LINE_FEED) continue;
@@ -47,12 +47,12 @@
   ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.[1]?.trimEnd() ?? null;
 
 /**
- * Splits the bytes of an event stream at the blank lines, so that an event that an endpoint broke
- * off is never passed on in part.
+ * Splits the bytes of an event stream into events at the blank lines, so that an event that an
+ * endpoint sent only in part is never forwarded.
  *
- * @param state - bytes left from before
- * @param chunk - new bytes
- * @returns whole events and the bytes that wait for their end
+ * @param state - incomplete event from the chunks before
+ * @param chunk - received bytes
+ * @returns the complete events and the incomplete one
  */
 export const splitEvents = (state: SplitterState, chunk: Uint8Array): SplitResult => {
   const bytes = joinBytes(state.rest, chunk);
--- a/packages/decisions/forwarding/routing.test.ts
+++ b/packages/decisions/forwarding/routing.test.ts
@@ -11,15 +11,15 @@
   ],
 });
 
-// Guards against a request that takes the route of a shorter prefix.
-test('the longest prefix of the host wins', (t) => {
+// Guards against a request that is routed by a shorter prefix than the longest match.
+test('the route with the longest matching prefix of the host is chosen', (t) => {
   const found = findRoute(table, { host: 'Host.example:80', path: '/memo/a', credential: 'key-1' });
   t.is(found.kind === 'routed' ? found.route.name : found.kind, 'memo');
   const other = findRoute(table, { host: 'host.example', path: '/memos', credential: null });
   t.is(other.kind === 'routed' ? other.route.name : other.kind, 'root');
 });
 
-// Guards against a request that runs for nobody, and one of an unknown host that is served.
+// Guards against serving a request that no customer accounts for, or one for an unknown host.
 test('unknown keys and hosts are refused', (t) => {
   const path = '/memo/a';
   t.is(findRoute(table, { host: 'host.example', path, credential: 'other' }).kind, 'unknown-key');
@@ -27,7 +27,7 @@
   t.is(findRoute(table, { host: 'other', path, credential: 'key-1' }).kind, 'no-route');
 });
 
-// Guards against traffic for a service whose weight is zero.
+// Guards against traffic to a service whose weight is zero, and shares that ignore the weights.
 test('services are chosen by weight', (t) => {
   const random = createRandomSource(1);
   const route = {
--- a/packages/decisions/forwarding/routing.ts
+++ b/packages/decisions/forwarding/routing.ts
@@ -18,20 +18,20 @@
   readonly services: ReadonlyMap<ServiceName, Service>;
 }
 
-/** Where a request goes, or why it is refused before any endpoint saw it. */
+/** Route and customer of a request, or why it is refused before it reaches an endpoint. */
 export type RoutingResult =
   | { readonly kind: 'routed'; readonly route: Route; readonly customer: Customer | null }
   | { readonly kind: 'no-route' }
   | { readonly kind: 'unknown-key' };
 
-const sortByHost = (routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> => {
+const sortRoutesByHost = (routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> => {
   const byHost = new Map<string, Route[]>();
   for (const route of routes) {
     const host = route.host.toLowerCase();
     byHost.set(host, [...(byHost.get(host) ?? []), route]);
   }
-  for (const own of byHost.values()) {
-    own.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+  for (const hostRoutes of byHost.values()) {
+    hostRoutes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
   }
   return byHost;
 };
@@ -39,13 +39,13 @@
 /**
  * Builds the lookup tables of a configuration.
  *
- * @param configuration - checked configuration
- * @returns its tables
+ * @param configuration - validated configuration
+ * @returns its lookup tables
  */
 export const buildRoutingTable = (configuration: ForwardingConfiguration): RoutingTable => ({
   version: configuration.version,
   configuration,
-  byHost: sortByHost(configuration.routes),
+  byHost: sortRoutesByHost(configuration.routes),
   byKey: new Map(
     (configuration.customers ?? []).flatMap((customer) =>
       customer.keys.map((key) => [key, customer] as const),
@@ -63,9 +63,9 @@
 /**
  * Finds the route and the customer of a request.
  *
- * @param table - tables of the configuration in force
- * @param request - host, path and key
- * @returns the route, or the reason of a refusal
+ * @param table - lookup tables of the current configuration
+ * @param request - host, path and API key
+ * @returns the route and customer, or the reason for a refusal
  */
 export const findRoute = (
   table: RoutingTable,
@@ -81,18 +81,18 @@
 };
 
 /**
- * Chooses the service of one request by the weights of its route.
+ * Chooses the service of one request at random by the weights of its route's targets.
  *
  * @param route - route of the request
- * @param random - source of chance
- * @returns the service, or null when no target has weight
+ * @param random - source of randomness
+ * @returns the service, or null when all weights are zero
  */
 export const chooseService = (route: Route, random: RandomSource): ServiceName | null => {
   const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
-  let left = random.next() * total;
+  let remainder = random.next() * total;
   for (const { service, weight } of route.targets) {
-    left -= weight;
-    if (weight > 0 && left <= 0) return service;
+    remainder -= weight;
+    if (weight > 0 && remainder <= 0) return service;
   }
   return route.targets.findLast(({ weight }) => weight > 0)?.service ?? null;
 };
