Reword the placement of attempts, backups and transfers

"Question", "noise", "crowding" and "room" stood for the criteria of a placement, the jitter of a score, the utilization of an engine and its free memory. The comments use these terms and say what each cost and share is relative to.

--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -8,7 +8,7 @@
   Service,
 } from './types.js';
 
-/** A service of model engines. */
+/** A service that runs on model engines. */
 export const ENGINE_SERVICE: Service = {
   name: 'writer',
   healthPath: '/health',
@@ -23,13 +23,14 @@
   },
 };
 
-/** A plain service. */
+/** A service without engines. */
 export const PLAIN_SERVICE: Service = {
   ...ENGINE_SERVICE,
   name: 'ledger',
   engine: null,
 };
 
+/** Resources of a generation that fits into `ENGINE_SERVICE`. */
 export const DEMAND: GenerationDemand = {
   model: 'm',
   promptTokens: 1_000,
@@ -37,7 +38,7 @@
   expectedOutputTokens: 400,
 };
 
-/** Route of a generation that cannot be started again. */
+/** Route of a generation that must not be restarted. */
 export const MEMO_ROUTE: Route = {
   name: 'memo',
   host: 'host.example',
@@ -54,7 +55,7 @@
   targets: [{ service: 'writer', weight: 1 }],
 };
 
-/** Route of a short generation that may be resumed. */
+/** Route of a short generation that can be resumed. */
 export const SUMMARY_ROUTE: Route = {
   ...MEMO_ROUTE,
   name: 'summary',
@@ -64,7 +65,7 @@
   maxEndpoints: 2,
 };
 
-/** Route of a call that must not be repeated. */
+/** Route of a call that must not be retried. */
 export const SWEEP_ROUTE: Route = {
   ...MEMO_ROUTE,
   name: 'sweep',
@@ -85,6 +86,7 @@
   maxEndpoints: 2,
 };
 
+/** Configuration with all routes and services of this file, and one customer. */
 export const CONFIGURATION: ForwardingConfiguration = {
   version: 7,
   routes: [MEMO_ROUTE, SUMMARY_ROUTE, SWEEP_ROUTE, LOOKUP_ROUTE],
@@ -99,10 +101,10 @@
 };
 
 /**
- * Builds an endpoint that is ready.
+ * Builds the registration of a ready endpoint.
  *
- * @param id - its id; its port follows from the last digit
- * @param change - fields that differ
+ * @param id - endpoint id, whose last digit determines the port
+ * @param change - fields to override
  * @returns the registration
  */
 export const buildEndpoint = (
@@ -124,8 +126,8 @@
 /**
  * Builds a candidate without load.
  *
- * @param record - its registration
- * @param change - fields that differ
+ * @param record - registration of the endpoint
+ * @param change - fields to override
  * @returns the candidate
  */
 export const buildCandidate = (
--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeForward.test.ts
@@ -14,7 +14,7 @@
 
 const random = createRandomSource(5);
 
-const QUESTION: PlacementQuestion = {
+const CRITERIA: PlacementQuestion = {
   service: ENGINE_SERVICE,
   demand: DEMAND,
   targetMs: 1_800,
@@ -22,75 +22,75 @@
   now: 10_000,
 };
 
-const PLAIN: PlacementQuestion = {
-  ...QUESTION,
+const PLAIN_CRITERIA: PlacementQuestion = {
+  ...CRITERIA,
   service: PLAIN_SERVICE,
   demand: null,
   targetMs: 120,
 };
 
-const buildFailing = (failures: number, answers: number): EndpointHealth => {
+const buildHealth = (failures: number, answers: number): EndpointHealth => {
   let health = NEW_ENDPOINT_HEALTH;
-  for (let turn = 0; turn < failures + answers; turn += 1) {
-    const isFailure = (turn * failures) % (failures + answers) < failures;
-    const sign = isFailure
+  for (let number = 0; number < failures + answers; number += 1) {
+    const isFailure = (number * failures) % (failures + answers) < failures;
+    const observation = isFailure
       ? ({ kind: 'failed' } as const)
       : ({ kind: 'answered', durationMs: 20 } as const);
-    health = observeAttempt(health, sign, QUESTION.now);
+    health = observeAttempt(health, observation, CRITERIA.now);
   }
   return health;
 };
 
 const buildPlain = (id: string) => buildEndpoint(id, { service: 'ledger' });
 
-// Guards against new work for an endpoint that leaves or cannot be reached.
-test('leaving and unreachable endpoints get nothing', (t) => {
-  const unreachable = observeAttempt(NEW_ENDPOINT_HEALTH, { kind: 'unreachable' }, QUESTION.now);
+// Guards against requests to an endpoint that is leaving or unreachable.
+test('leaving and unreachable endpoints receive no requests', (t) => {
+  const unreachable = observeAttempt(NEW_ENDPOINT_HEALTH, { kind: 'unreachable' }, CRITERIA.now);
   const candidates = [
     buildCandidate(buildEndpoint('e-1', { phase: 'leaving' })),
     buildCandidate(buildEndpoint('e-2'), { health: unreachable }),
   ];
-  t.is(placeForward(candidates, QUESTION, random), null);
+  t.is(placeForward(candidates, CRITERIA, random), null);
 });
 
-// Guards against a second attempt at the endpoint that has just failed while there are others.
-test('an endpoint that was not tried goes first', (t) => {
+// Guards against a retry at the endpoint that has just failed while others are available.
+test('an endpoint that was not tried yet is preferred', (t) => {
   const candidates = [
     buildCandidate(buildPlain('e-1')),
     buildCandidate(buildPlain('e-2'), { load: { requests: 7, tokens: 0, waitingTokens: 0 } }),
   ];
-  const chosen = placeForward(candidates, { ...PLAIN, tried: new Set(['e-1']) }, random);
+  const chosen = placeForward(candidates, { ...PLAIN_CRITERIA, tried: new Set(['e-1']) }, random);
   t.is(chosen?.record.id, 'e-2');
 });
 
-// Guards against an outage of all endpoints because requests fail by their nature.
-test('failures that all endpoints have alike keep none out of use', (t) => {
-  const health = buildFailing(30, 3);
+// Guards against excluding every endpoint when the requests themselves cause the failures.
+test('failures common to all endpoints exclude none of them', (t) => {
+  const health = buildHealth(30, 3);
   const candidates = ['e-1', 'e-2', 'e-3'].map((id) => buildCandidate(buildPlain(id), { health }));
-  t.not(placeForward(candidates, PLAIN, random), null);
+  t.not(placeForward(candidates, PLAIN_CRITERIA, random), null);
 });
 
-// Guards against an endpoint that fails part of its requests and still gets its share.
+// Guards against an endpoint that fails some of its requests and still receives its usual share.
 test('an endpoint that fails more than the others is avoided', (t) => {
   const candidates = [
-    buildCandidate(buildPlain('e-1'), { health: buildFailing(12, 12) }),
+    buildCandidate(buildPlain('e-1'), { health: buildHealth(12, 12) }),
     buildCandidate(buildPlain('e-2'), {
-      health: buildFailing(0, 24),
+      health: buildHealth(0, 24),
       load: { requests: 4, tokens: 0, waitingTokens: 0 },
     }),
   ];
-  t.is(placeForward(candidates, PLAIN, random)?.record.id, 'e-2');
+  t.is(placeForward(candidates, PLAIN_CRITERIA, random)?.record.id, 'e-2');
 });
 
-// Guards against an endpoint that is never tried again after its failures.
-test('an observed failure rate fades', (t) => {
-  const health = buildFailing(20, 0);
-  t.true(computeFailureRate(health, QUESTION.now) > 0.9);
-  t.true(computeFailureRate(health, QUESTION.now + 20_000) < 0.05);
+// Guards against an endpoint that receives no requests ever again after its failures.
+test('an observed failure rate decays', (t) => {
+  const health = buildHealth(20, 0);
+  t.true(computeFailureRate(health, CRITERIA.now) > 0.9);
+  t.true(computeFailureRate(health, CRITERIA.now + 20_000) < 0.05);
 });
 
-// Guards against prompts that queue behind each other at an engine that has just started.
-test('prompts that wait count more than memory in use', (t) => {
+// Guards against prompts that queue up at an engine that has just started and has little memory in use.
+test('pending prompts weigh more than memory in use', (t) => {
   const candidates = [
     buildCandidate(buildEndpoint('e-1'), {
       load: { requests: 2, tokens: 2_600, waitingTokens: 2_600 },
@@ -99,17 +99,18 @@
       load: { requests: 3, tokens: 5_000, waitingTokens: 0 },
     }),
   ];
-  t.is(placeForward(candidates, QUESTION, random)?.record.id, 'e-2');
+  t.is(placeForward(candidates, CRITERIA, random)?.record.id, 'e-2');
 });
 
-// Guards against a cold endpoint that gets more than its bound.
-test('a cold endpoint without room gets nothing', (t) => {
+// Guards against more requests to a cold endpoint than its limit allows.
+test('a cold endpoint without headroom receives no requests', (t) => {
   const cold = buildCandidate(buildEndpoint('e-1'), { coldRoom: 0 });
-  t.is(placeForward([cold], QUESTION, random), null);
+  t.is(placeForward([cold], CRITERIA, random), null);
 });
 
-// Guards against a copy that is lost together with its generation, and one that leaves no room.
-test('a copy goes to another data centre with room', (t) => {
+// Guards against a backup that is lost together with its generation, and one on an engine that is
+// nearly full.
+test('a backup is placed in another data centre on an engine with free memory', (t) => {
   const runner = buildEndpoint('e-1');
   const full = { load: { requests: 5, tokens: 9_500, waitingTokens: 0 } };
   const candidates = [
@@ -118,13 +119,14 @@
     buildCandidate(buildEndpoint('e-3', { dataCentre: 'dc-b' })),
     buildCandidate(buildEndpoint('e-4', { dataCentre: 'dc-b' }), full),
   ];
-  t.is(placeBackup(candidates, QUESTION, runner, random)?.record.id, 'e-3');
-  const crowded = candidates.map((candidate) => ({ ...candidate, ...full }));
-  t.is(placeBackup(crowded, QUESTION, runner, random), null);
+  t.is(placeBackup(candidates, CRITERIA, runner, random)?.record.id, 'e-3');
+  const loaded = candidates.map((candidate) => ({ ...candidate, ...full }));
+  t.is(placeBackup(loaded, CRITERIA, runner, random), null);
 });
 
-// Guards against a transfer that takes twice as long while there is room nearby.
-test('a transfer stays in the data centre if there is room', (t) => {
+// Guards against a transfer between data centres, which takes twice as long, when an engine of the
+// same one has enough free memory.
+test('a transfer stays in its data centre if an engine there has free memory', (t) => {
   const runner = buildEndpoint('e-1');
   const candidates = [
     buildCandidate(runner),
@@ -133,17 +135,17 @@
     }),
     buildCandidate(buildEndpoint('e-3', { dataCentre: 'dc-b' })),
   ];
-  t.is(placeTransfer(candidates, QUESTION, runner, random)?.record.id, 'e-2');
+  t.is(placeTransfer(candidates, CRITERIA, runner, random)?.record.id, 'e-2');
 });
 
-// Guards against a generation that is given up although an engine may have room: the memory in use
-// is an estimate.
-test('a transfer without a target that has room goes to the least crowded one', (t) => {
+// Guards against a generation that is abandoned although an engine may have enough memory, since the
+// memory in use is an estimate.
+test('a transfer without a target with enough free memory uses the least loaded one', (t) => {
   const runner = buildEndpoint('e-1');
   const candidates = [9_900, 9_400].map((tokens, index) =>
     buildCandidate(buildEndpoint(`e-${(index + 2).toString()}`), {
       load: { requests: 4, tokens, waitingTokens: 0 },
     }),
   );
-  t.is(placeTransfer(candidates, QUESTION, runner, random)?.record.id, 'e-3');
+  t.is(placeTransfer(candidates, CRITERIA, runner, random)?.record.id, 'e-3');
 });
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -6,136 +6,147 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 
-/** Work on one endpoint, of this daemon and as its peers last reported theirs. */
+/** Load on one endpoint: that of this daemon and that last reported by its peers. */
 export interface EndpointLoad {
   readonly requests: number;
-  /** Memory of running generations and of copies for others. */
+  /** Engine memory of running generations and of backups for other endpoints, in tokens. */
   readonly tokens: number;
-  /** Prompts that are not read yet, so that a new one waits for them. */
+  /** Tokens of prompts that are not processed yet and delay a new one. */
   readonly waitingTokens: number;
 }
 
-/** One endpoint as a placement sees it. */
+/** An endpoint with the health and load on which its placement depends. */
 export interface Candidate {
   readonly record: EndpointRecord;
   readonly health: EndpointHealth;
   readonly load: EndpointLoad;
-  /** Requests that a cold endpoint may still get from this daemon now; null when it is warm. */
+  /** Requests that this daemon may still send to a cold endpoint now; null when it is warm. */
   readonly coldRoom: number | null;
 }
 
+/** Requirements and history of the request to be placed. */
 export interface PlacementQuestion {
   readonly service: Service;
   readonly demand: GenerationDemand | null;
-  /** Time within which an answer is on time. */
+  /** Latency target of the answer. */
   readonly targetMs: Millis;
-  /** Endpoints that this request has already been at. */
+  /** Endpoints to which this request has already been sent. */
   readonly tried: ReadonlySet<EndpointId>;
   readonly now: Millis;
 }
 
-/** Share of its score by which an endpoint may look better or worse, so that daemons with the same view do not all choose the same one. */
-const NOISE = 0.1;
+/**
+ * Largest random increase of an endpoint's score, as a share of it, so that daemons with the same
+ * view do not all choose the same endpoint.
+ */
+const SCORE_JITTER = 0.1;
 
-/** Duration assumed of an endpoint that has not answered yet. */
-const UNKNOWN_ANSWER_MS = 20;
+/** Latency assumed for an endpoint that has not answered yet. */
+const DEFAULT_ANSWER_MS = 20;
 
-/** Targets that a failure costs in a comparison of endpoints. */
+/** Cost of a failure in an endpoint's score, in multiples of the latency target. */
 const FAILURE_COST = 2;
 
-/** Cost of memory beyond what an engine has, against that of memory that it has. */
+/** Cost of load beyond an engine's memory or slots, relative to load within them. */
 const OVERFLOW_COST = 10;
 
-/** Cost of a prompt that waits to be read, against that of memory in use. */
-const WAITING_COST = 3;
+/** Cost of prompt tokens that wait to be processed, relative to memory in use. */
+const PENDING_PROMPT_COST = 3;
 
-/** Share of an engine's memory that copies of the shortest generations may fill. */
-const SHORT_BACKUP_SHARE = 0.35;
+/** Share of an engine's memory that may be in use with a new backup of the shortest generations. */
+const MIN_BACKUP_MEMORY_SHARE = 0.35;
 
-/** What is added to that share for a generation of `LONG_OUTPUT_TOKENS`. */
-const LONG_BACKUP_SHARE = 0.15;
+/** Addition to `MIN_BACKUP_MEMORY_SHARE` for a generation of `LONG_OUTPUT_TOKENS` or more. */
+const LONG_OUTPUT_EXTRA_SHARE = 0.15;
 
-/** Output from which a generation is long: it is worth most, and is most likely to need its copy. */
+/**
+ * Output from which a generation counts as long: its loss costs most, and it is the most likely to
+ * need its backup.
+ */
 const LONG_OUTPUT_TOKENS = 1_000;
 
 /**
- * Share of all engines' memory in use above which no more copies are made. Copies in memory that
- * running generations need soon cost more of them, by preemptions, than they save.
+ * Share of all engines' memory in use above which no more backups are made. Backups in memory that
+ * running generations need soon cause preemptions, which cost more generations than the backups save.
  */
-const COPY_AVERAGE_SHARE = 0.35;
+const MAX_MEMORY_SHARE_FOR_BACKUPS = 0.35;
 
 /**
- * Estimates the output of a generation.
+ * Estimates the output length of a generation.
  *
- * @param demand - the caller's estimate and bound
- * @returns tokens
+ * @param demand - the caller's estimate and limit
+ * @returns output tokens
  */
 export const estimateOutput = (demand: GenerationDemand): number =>
   Math.min(demand.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS, demand.maxOutputTokens);
 
 /**
- * Estimates the memory that a generation takes at its end.
+ * Estimates the engine memory that a generation uses at its end.
  *
- * @param demand - prompt and bound of the output
- * @returns tokens
+ * @param demand - prompt, and estimate and limit of the output
+ * @returns prompt and output tokens
  */
 export const estimateTokens = (demand: GenerationDemand): number =>
   demand.promptTokens + estimateOutput(demand);
 
-const isUsable = ({ record, health, coldRoom }: Candidate, question: PlacementQuestion): boolean =>
-  record.service === question.service.name &&
+const isUsable = (
+  { record, health, coldRoom: headroom }: Candidate,
+  criteria: PlacementQuestion,
+): boolean =>
+  record.service === criteria.service.name &&
   record.phase === 'ready' &&
-  health.avoidUntil <= question.now &&
-  (coldRoom === null || coldRoom > 0);
+  health.avoidUntil <= criteria.now &&
+  (headroom === null || headroom > 0);
 
 const computePlainScore = (
   { record, health, load }: Candidate,
   excessRate: number,
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
 ): number => {
-  const answerMs = health.answerMs ?? UNKNOWN_ANSWER_MS;
-  const fill = load.requests / Math.max(1, record.slots);
-  return answerMs * (1 + 2 * fill) + excessRate * FAILURE_COST * question.targetMs;
+  const answerMs = health.answerMs ?? DEFAULT_ANSWER_MS;
+  const slotShare = load.requests / Math.max(1, record.slots);
+  return answerMs * (1 + 2 * slotShare) + excessRate * FAILURE_COST * criteria.targetMs;
 };
 
 const computeEngineScore = (
   { record, load }: Candidate,
   excessRate: number,
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
 ): number => {
-  const memory = question.service.engine?.memoryTokens ?? 1;
-  const demand = question.demand === null ? 0 : estimateTokens(question.demand);
+  const memory = criteria.service.engine?.memoryTokens ?? 1;
+  const demand = criteria.demand === null ? 0 : estimateTokens(criteria.demand);
   const memoryShare = (load.tokens + demand) / memory;
   const slotShare = (load.requests + 1) / Math.max(1, record.slots);
-  const crowding = Math.max(memoryShare, slotShare);
-  // An engine without room preempts running generations, which costs more than any queue.
-  const overflow = crowding > 1 ? (crowding - 1) * OVERFLOW_COST : 0;
-  const waiting = (load.waitingTokens * WAITING_COST) / memory;
+  const utilization = Math.max(memoryShare, slotShare);
+  // An engine over its capacity preempts running generations, which costs more than any queueing.
+  const overflow = utilization > 1 ? (utilization - 1) * OVERFLOW_COST : 0;
+  const waiting = (load.waitingTokens * PENDING_PROMPT_COST) / memory;
   return slotShare + memoryShare + waiting + overflow + excessRate * FAILURE_COST;
 };
 
 const computeScore = (
   candidate: Candidate,
   excessRate: number,
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
 ): number =>
-  question.service.engine === null
-    ? computePlainScore(candidate, excessRate, question)
-    : computeEngineScore(candidate, excessRate, question);
+  criteria.service.engine === null
+    ? computePlainScore(candidate, excessRate, criteria)
+    : computeEngineScore(candidate, excessRate, criteria);
 
 const chooseLowest = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   random: RandomSource,
 ): Candidate | null => {
-  const rates = candidates.map(({ health }) => computeFailureRate(health, question.now));
-  // Failures that all endpoints have alike speak against the requests, not against an endpoint.
+  const rates = candidates.map(({ health }) => computeFailureRate(health, criteria.now));
+  // Failures that occur at every endpoint are caused by the requests, so only the excess counts.
   const commonRate = Math.min(...rates);
   let best: Candidate | null = null;
   let bestScore = Infinity;
   for (const [index, candidate] of candidates.entries()) {
     const excessRate = (rates[index] ?? 0) - commonRate;
-    const score = computeScore(candidate, excessRate, question) * (1 + NOISE * random.next());
+    const score =
+      computeScore(candidate, excessRate, criteria) * (1 + SCORE_JITTER * random.next());
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
@@ -145,55 +156,55 @@
 };
 
 /**
- * Tells whether an endpoint has room for a request without a preemption.
+ * Reports whether an endpoint can run a request without preempting others.
  *
  * @param candidate - endpoint
- * @param question - what the request asks for
- * @returns whether memory and slots suffice
+ * @param criteria - requirements of the request
+ * @returns true when its memory and slots suffice
  */
-export const hasRoom = ({ load, record }: Candidate, question: PlacementQuestion): boolean => {
-  const { demand, service } = question;
+export const hasRoom = ({ load, record }: Candidate, criteria: PlacementQuestion): boolean => {
+  const { demand, service } = criteria;
   if (service.engine === null || demand === null) return true;
   const tokens = load.tokens + demand.promptTokens;
   return tokens <= service.engine.memoryTokens && load.requests < record.slots;
 };
 
 /**
- * Chooses the endpoint of one attempt: one that the request has not been at if there is any.
+ * Chooses the endpoint of one attempt. Endpoints that the request has not been sent to are preferred.
  *
- * @param candidates - endpoints that may be used
- * @param question - what the request asks for
- * @param random - source of chance
+ * @param candidates - endpoints of the service
+ * @param criteria - requirements of the request
+ * @param random - source of randomness
  * @returns the endpoint, or null when none can be used
  */
 export const placeForward = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   random: RandomSource,
 ): Candidate | null => {
-  const usable = candidates.filter((candidate) => isUsable(candidate, question));
-  const fresh = usable.filter(({ record }) => !question.tried.has(record.id));
-  return chooseLowest(fresh.length > 0 ? fresh : usable, question, random);
+  const usable = candidates.filter((candidate) => isUsable(candidate, criteria));
+  const untried = usable.filter(({ record }) => !criteria.tried.has(record.id));
+  return chooseLowest(untried.length > 0 ? untried : usable, criteria, random);
 };
 
-const listWithRoom = (
+const listBackupTargets = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   runner: EndpointRecord,
   memoryShare: number,
 ): readonly Candidate[] => {
-  const { demand, service } = question;
+  const { demand, service } = criteria;
   if (service.engine === null || demand === null) return [];
-  const room = service.engine.memoryTokens * memoryShare - demand.promptTokens;
+  const maxUsedTokens = service.engine.memoryTokens * memoryShare - demand.promptTokens;
   return candidates.filter(
     (candidate) =>
-      isUsable(candidate, question) &&
+      isUsable(candidate, criteria) &&
       candidate.record.id !== runner.id &&
-      candidate.load.tokens <= room,
+      candidate.load.tokens <= maxUsedTokens,
   );
 };
 
-const computeMemoryShare = (
+const computeUsedMemoryShare = (
   candidates: readonly Candidate[],
   { service }: PlacementQuestion,
 ): number => {
@@ -202,69 +213,80 @@
   return memory === 0 ? 1 : used / memory;
 };
 
-const computeBackupShare = ({ demand }: PlacementQuestion): number => {
+const computeBackupMemoryShare = ({ demand }: PlacementQuestion): number => {
   if (demand === null) return 0;
   const length = Math.min(1, estimateOutput(demand) / LONG_OUTPUT_TOKENS);
-  return SHORT_BACKUP_SHARE + LONG_BACKUP_SHARE * length;
+  return MIN_BACKUP_MEMORY_SHARE + LONG_OUTPUT_EXTRA_SHARE * length;
 };
 
 /**
- * Chooses the endpoint that keeps a copy of a running generation: one with room, in another data
- * centre if possible, so that the loss of a data centre does not take both.
+ * Chooses the endpoint that keeps a backup of a running generation: one with enough free memory, in
+ * another data centre if possible, so that the loss of one data centre does not lose both copies.
  *
- * @param candidates - endpoints that may be used
- * @param question - what the generation asks for
- * @param runner - endpoint that runs it
- * @param random - source of chance
- * @returns the endpoint, or null when none has room
+ * @param candidates - endpoints of the service
+ * @param criteria - requirements of the generation
+ * @param runner - endpoint that runs the generation
+ * @param random - source of randomness
+ * @returns the endpoint, or null when none has enough free memory
  */
 export const placeBackup = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   runner: EndpointRecord,
   random: RandomSource,
 ): Candidate | null => {
-  if (question.service.engine?.backups !== 'supported') return null;
-  if (computeMemoryShare(candidates, question) > COPY_AVERAGE_SHARE) return null;
-  const withRoom = listWithRoom(candidates, question, runner, computeBackupShare(question));
-  const apart = withRoom.filter(({ record }) => record.dataCentre !== runner.dataCentre);
-  return chooseLowest(apart.length > 0 ? apart : withRoom, question, random);
+  if (criteria.service.engine?.backups !== 'supported') return null;
+  if (computeUsedMemoryShare(candidates, criteria) > MAX_MEMORY_SHARE_FOR_BACKUPS) return null;
+  const withCapacity = listBackupTargets(
+    candidates,
+    criteria,
+    runner,
+    computeBackupMemoryShare(criteria),
+  );
+  const inOtherDataCentre = withCapacity.filter(
+    ({ record }) => record.dataCentre !== runner.dataCentre,
+  );
+  return chooseLowest(
+    inOtherDataCentre.length > 0 ? inOtherDataCentre : withCapacity,
+    criteria,
+    random,
+  );
 };
 
-/** Targets with room, or any: an engine without room says so at once. */
-const listTargets = (
+/** Returns the targets with enough free memory, or all if none has: a full engine refuses at once. */
+const listTransferTargets = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   runner: EndpointRecord,
 ): readonly Candidate[] => {
-  const { demand, service } = question;
+  const { demand, service } = criteria;
   if (service.engine === null || demand === null) return [];
-  const room = service.engine.memoryTokens - demand.promptTokens;
+  const maxUsedTokens = service.engine.memoryTokens - demand.promptTokens;
   const usable = candidates.filter(
-    (candidate) => isUsable(candidate, question) && candidate.record.id !== runner.id,
+    (candidate) => isUsable(candidate, criteria) && candidate.record.id !== runner.id,
   );
-  const withRoom = usable.filter(({ load }) => load.tokens <= room);
-  return withRoom.length > 0 ? withRoom : usable;
+  const withCapacity = usable.filter(({ load }) => load.tokens <= maxUsedTokens);
+  return withCapacity.length > 0 ? withCapacity : usable;
 };
 
 /**
- * Chooses the endpoint that takes over a running generation: one with room, in the same data centre
- * if possible, since a transfer within it takes half the time.
+ * Chooses the endpoint to which a running generation is transferred: one with enough free memory if
+ * there is any, and in the same data centre if possible, where a transfer takes half the time.
  *
- * @param candidates - endpoints that may be used
- * @param question - what the generation asks for
- * @param runner - endpoint that runs it
- * @param random - source of chance
+ * @param candidates - endpoints of the service
+ * @param criteria - requirements of the generation
+ * @param runner - endpoint that runs the generation
+ * @param random - source of randomness
  * @returns the endpoint, or null when there is none
  */
 export const placeTransfer = (
   candidates: readonly Candidate[],
-  question: PlacementQuestion,
+  criteria: PlacementQuestion,
   runner: EndpointRecord,
   random: RandomSource,
 ): Candidate | null => {
-  if (question.service.engine?.moves !== 'supported') return null;
-  const targets = listTargets(candidates, question, runner);
-  const near = targets.filter(({ record }) => record.dataCentre === runner.dataCentre);
-  return chooseLowest(near.length > 0 ? near : targets, question, random);
+  if (criteria.service.engine?.moves !== 'supported') return null;
+  const targets = listTransferTargets(candidates, criteria, runner);
+  const inSameDataCentre = targets.filter(({ record }) => record.dataCentre === runner.dataCentre);
+  return chooseLowest(inSameDataCentre.length > 0 ? inSameDataCentre : targets, criteria, random);
 };
