Reword the fair queue in the terms of start-time fair queueing

"Queues that owe virtual time to the others", "saves up a claim" and "the customer's lead over the others" described start and finish tags without naming them. The comments now do, and "last in line", "newcomer" and "victim" are the shed candidate, the arrival and the dropped request. The title of the deadline test names what it checks: the refusal and the removal.

--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -2,7 +2,7 @@
   addToLane,
   createLane,
   findHead,
-  findLast,
+  findShedCandidate,
   findWaiting,
   formatLaneKey,
   listExpired,
@@ -10,7 +10,7 @@
   serveFromLane,
   settleInLane,
 } from './lane.js';
-import type { LastInLine } from './lane.js';
+import type { ShedCandidate } from './lane.js';
 import type {
   Lane,
   QueueEffect,
@@ -30,13 +30,18 @@
 
 type QueueStep = Step<QueueState, QueueEffect>;
 
-/** Creates an empty queue. */
+/**
+ * Creates an empty queue.
+ *
+ * @param settings - bounds of the queue
+ * @returns a queue without lanes
+ */
 export const createQueueState = (settings: QueueSettings): QueueState => ({
   settings,
   lanes: new Map(),
 });
 
-/** Ranks importance, the least important class first. */
+/** Converts an importance to a rank; the least important has rank 0. */
 const toRank = (importance: Importance): number => {
   switch (importance) {
     case 'background':
@@ -51,11 +56,11 @@
 };
 
 /**
- * Lists the requests to try next: the fair head of each lane, the most important class first and
- * the longest wait first within an importance.
+ * Lists the requests to place next: the head of each lane by fair queueing, ordered by importance and,
+ * within an importance, by the longest wait.
  *
  * @param state - queue
- * @returns at most one request of each class and resource
+ * @returns at most one request for each class and resource
  */
 export const listHeads = (state: QueueState): readonly WaitingRequest[] =>
   [...state.lanes.values()]
@@ -85,7 +90,7 @@
 
 const applyLane = (state: QueueState, key: string, lane: Lane): QueueState => {
   const lanes = new Map(state.lanes);
-  // A lane without requests restarts its virtual time, so nobody's history has to be kept.
+  // An empty lane is deleted and restarts at virtual time 0, so past charges need not be kept.
   if (lane.count > 0) lanes.set(key, lane);
   else lanes.delete(key);
   return { ...state, lanes };
@@ -94,11 +99,11 @@
 const removeWaiting = (
   state: QueueState,
   request: WaitingRequest,
-  take: (lane: Lane, request: WaitingRequest) => Lane,
+  remove: (lane: Lane, request: WaitingRequest) => Lane,
 ): QueueState => {
   const key = formatLaneKey(request);
   const lane = state.lanes.get(key);
-  return lane === undefined ? state : applyLane(state, key, take(lane, request));
+  return lane === undefined ? state : applyLane(state, key, remove(lane, request));
 };
 
 const addWaiting = (state: QueueState, request: WaitingRequest): QueueState => {
@@ -107,12 +112,12 @@
 };
 
 /**
- * Finds a waiting request. The queue keeps no index by id: copying one with thousands of entries for
+ * Finds a waiting request. The queue has no index by id: copying one with thousands of entries for
  * every event took longer than this search.
  *
  * @param state - queue
  * @param requestId - id of the request
- * @returns the request, or nothing when it does not wait
+ * @returns the request, or undefined when it does not wait
  */
 export const findRequest = (
   state: QueueState,
@@ -136,42 +141,43 @@
   failure: createFailure('not-run', code, message, retryAfterMs),
 });
 
-const pickLast = (lanes: readonly Lane[]): WaitingRequest | undefined => {
-  let last: LastInLine | undefined;
+const pickShedCandidate = (lanes: readonly Lane[]): WaitingRequest | undefined => {
+  let last: ShedCandidate | undefined;
   for (const lane of lanes) {
-    const candidate = findLast(lane);
+    const candidate = findShedCandidate(lane);
     if (candidate === undefined) continue;
     if (last === undefined || candidate.finishTag > last.finishTag) last = candidate;
   }
   return last?.request;
 };
 
-const findShed = (state: QueueState): WaitingRequest | undefined => {
+/** Finds the request to shed among the lanes of the lowest importance. */
+const findLeastImportant = (state: QueueState): WaitingRequest | undefined => {
   const lanes = [...state.lanes.values()];
   const least = lanes.reduce((rank, lane) => Math.min(rank, toRank(lane.importance)), Infinity);
-  return pickLast(lanes.filter((lane) => toRank(lane.importance) === least));
+  return pickShedCandidate(lanes.filter((lane) => toRank(lane.importance) === least));
 };
 
-/** The bounds hold after the newcomer is in, so that it competes with those that wait already. */
-const shedExcess = (state: QueueState, newcomer: WaitingRequest): QueueStep => {
+/** Sheds a request above the bounds. The arrival is already queued, so it competes with the others. */
+const shedExcess = (state: QueueState, arrival: WaitingRequest): QueueStep => {
   const { maxWaiting, maxWaitingPerClass, retryAfterMs } = state.settings;
-  if (countClass(state, newcomer.className) > maxWaitingPerClass) {
+  if (countClass(state, arrival.className) > maxWaitingPerClass) {
     const lanes = [...state.lanes.values()];
-    const victim = pickLast(lanes.filter((lane) => lane.className === newcomer.className));
-    if (victim === undefined) return toStep(state);
-    const message = `the queue of class ${victim.className} is full`;
+    const dropped = pickShedCandidate(lanes.filter((lane) => lane.className === arrival.className));
+    if (dropped === undefined) return toStep(state);
+    const message = `the queue of class ${dropped.className} is full`;
     return toStep(
-      removeWaiting(state, victim, removeFromLane),
-      buildRefusal(victim, 'overloaded', message, retryAfterMs),
+      removeWaiting(state, dropped, removeFromLane),
+      buildRefusal(dropped, 'overloaded', message, retryAfterMs),
     );
   }
   if (countWaiting(state) <= maxWaiting) return toStep(state);
-  const victim = findShed(state);
-  if (victim === undefined) return toStep(state);
-  const message = `class ${victim.className} is shed, since the queue is full`;
+  const dropped = findLeastImportant(state);
+  if (dropped === undefined) return toStep(state);
+  const message = `class ${dropped.className} is shed, since the queue is full`;
   return toStep(
-    removeWaiting(state, victim, removeFromLane),
-    buildRefusal(victim, 'shed', message, retryAfterMs),
+    removeWaiting(state, dropped, removeFromLane),
+    buildRefusal(dropped, 'shed', message, retryAfterMs),
   );
 };
 
@@ -217,13 +223,13 @@
 };
 
 /**
- * Decides the order of waiting requests. Within a class, customers share by weight in predicted
- * tokens (start-time fair queueing); over the bounds, the least important class is shed first and,
- * within a class, the customer whose backlog ends last.
+ * Decides the order of waiting requests. Within a class, customers share by weight, measured in
+ * predicted tokens (start-time fair queueing). Above the bounds, the least important class is shed
+ * first and, within a class, the customer whose backlog finishes last.
  *
  * @param state - queue
- * @param event - arrival, departure or time
- * @returns next state and effects
+ * @param event - arrival, placement, cancellation, end or time
+ * @returns the next state and effects
  */
 export const decideQueue = (state: QueueState, event: QueueEvent): QueueStep => {
   switch (event.kind) {
--- a/packages/decisions/fairness/fairness.test.ts
+++ b/packages/decisions/fairness/fairness.test.ts
@@ -55,7 +55,7 @@
       className: fc.constantFrom<(keyof typeof IMPORTANCE)[]>('lookup', 'memo', 'summary'),
       resource: fc.constantFrom('draft', 'sort'),
       predictedTokens: fc.integer({ min: 1, max: 5_000 }),
-      patience: fc.integer({ min: 0, max: 60 }),
+      timeToDeadline: fc.integer({ min: 0, max: 60 }),
     }),
   },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('take' as const) }) },
@@ -66,28 +66,28 @@
   },
 );
 
-// Guards against requests that are lost, served twice, overtaken by their own customer's later
-// ones, or kept over the bounds, whatever the order of events.
-test('every request ends once, in order within its customer, and the bounds hold', (t) => {
+// Guards against requests that are lost, served twice, overtaken by later ones of their own customer,
+// or queued above the bounds, for any order of events.
+test('every request ends once, customers are served in order, and the bounds hold', (t) => {
   fc.assert(
     fc.property(fc.array(action, { maxLength: 200 }), (actions) => {
       let state = createQueueState(SETTINGS);
       const ended = new Map<string, number>();
       const added = new Map<string, WaitingRequest>();
       const lastServed = new Map<string, number>();
-      let isOrdered = true;
-      const addEnd = (id: string) => ended.set(id, (ended.get(id) ?? 0) + 1);
+      let isValid = true;
+      const countEnd = (id: string) => ended.set(id, (ended.get(id) ?? 0) + 1);
       const apply = (event: QueueEvent): void => {
         const step = decideQueue(state, event);
         state = step.state;
         for (const effect of step.effects) {
-          if (effect.kind === 'refuse') addEnd(effect.requestId);
+          if (effect.kind === 'refuse') countEnd(effect.requestId);
           if (effect.kind !== 'serve') continue;
           const { request } = effect;
-          addEnd(request.requestId);
+          countEnd(request.requestId);
           const lane = [request.className, request.resource, request.customer].join();
           const number = Number(request.requestId);
-          isOrdered &&= number > (lastServed.get(lane) ?? -1);
+          isValid &&= number > (lastServed.get(lane) ?? -1);
           lastServed.set(lane, number);
         }
       };
@@ -101,7 +101,7 @@
               resource: item.resource,
               predictedTokens: item.predictedTokens,
               enqueuedAt: now,
-              latestStartAt: now + item.patience,
+              latestStartAt: now + item.timeToDeadline,
             });
             added.set(request.requestId, request);
             apply({ kind: 'enqueue', request });
@@ -120,19 +120,19 @@
             break;
           case 'cancel': {
             const id = item.id.toString();
-            if (findRequest(state, id) !== undefined) addEnd(id);
+            if (findRequest(state, id) !== undefined) countEnd(id);
             apply({ kind: 'cancel', requestId: id });
             break;
           }
         }
-        isOrdered &&= countWaiting(state) <= SETTINGS.maxWaiting;
+        isValid &&= countWaiting(state) <= SETTINGS.maxWaiting;
       });
       for (let next = serveNext(state); next !== undefined; next = serveNext(state)) {
         state = next.state;
-        addEnd(next.request.requestId);
+        countEnd(next.request.requestId);
       }
       return (
-        isOrdered &&
+        isValid &&
         state.lanes.size === 0 &&
         ended.size === added.size &&
         [...ended.values()].every((count) => count === 1)
@@ -143,8 +143,8 @@
   t.pass();
 });
 
-// Guards against large customers that starve a small one: before its request, each other customer
-// is served at most one request.
+// Guards against large customers that starve a small one: at most one request of each other customer
+// is served before its request.
 test('a small customer waits for at most one request of each large one', (t) => {
   fc.assert(
     fc.property(
@@ -174,8 +174,8 @@
   t.pass();
 });
 
-// Guards against overload that hits important classes, or the small customer, first.
-test('the least important class is shed first, and in a class the largest backlog', (t) => {
+// Guards against shedding important classes, or the requests of a small customer, first.
+test('the least important class is shed first, and within a class the largest backlog', (t) => {
   const summaries = Array.from({ length: 20 }, (_, index) =>
     buildRequest(`s${index.toString()}`, 'large', {
       className: 'summary',
@@ -198,8 +198,8 @@
   t.is(listHeads(state)[0]?.className, 'memo');
 });
 
-// Guards against work that starts too late to be of use.
-test('requests that cannot start in time are refused as not-run', (t) => {
+// Guards against starting a request that can no longer meet its deadline.
+test('requests that cannot start in time are refused and leave the queue', (t) => {
   const { state } = addAll(createQueueState(SETTINGS), [
     buildRequest('late', 'a', { latestStartAt: 100 }),
     buildRequest('early', 'a'),
@@ -212,7 +212,7 @@
   t.is(listHeads(step.state)[0]?.requestId, 'early');
 });
 
-// Guards against a customer that gains by answers longer than predicted.
+// Guards against a customer that gets more than its share through answers longer than predicted.
 test('tokens beyond the prediction are charged to the customer', (t) => {
   const requests = ['a1', 'a2', 'b1', 'b2'].map((id) => buildRequest(id, id.slice(0, 1)));
   let { state } = addAll(createQueueState(SETTINGS), requests);
--- a/packages/decisions/fairness/lane.ts
+++ b/packages/decisions/fairness/lane.ts
@@ -1,7 +1,7 @@
 import type { CustomerQueue, Lane, WaitingRequest } from './types.js';
 import type { CustomerId, RequestId } from '../../core/ids.js';
 
-/** Creates the empty lane of a request. */
+/** Creates the empty lane for a request's class and resource. */
 export const createLane = (request: WaitingRequest): Lane => ({
   className: request.className,
   importance: request.importance,
@@ -14,13 +14,13 @@
 /**
  * Formats the key of a request's lane.
  *
- * @param request - class and resource
- * @returns key in the state's map
+ * @param request - request with its class and resource
+ * @returns key in `QueueState.lanes`
  */
 export const formatLaneKey = (request: WaitingRequest): string =>
   `${request.className}\u0000${request.resource}`;
 
-/** Queues without requests are kept only while they owe virtual time to the others. */
+/** Updates a customer's queue. An empty one is kept only while its start tag is ahead of virtual time. */
 const applyQueue = (lane: Lane, queue: CustomerQueue): Lane => {
   const customers = new Map(lane.customers);
   const before = customers.get(queue.customer)?.waiting.length ?? 0;
@@ -33,6 +33,7 @@
   return { ...lane, customers, count };
 };
 
+/** Removes the empty queues that virtual time has caught up with. */
 const pruneQueues = (lane: Lane): Lane => {
   const customers = new Map<CustomerId, CustomerQueue>();
   for (const [customer, queue] of lane.customers) {
@@ -44,12 +45,12 @@
 };
 
 /**
- * Adds a request at the end of its customer's queue. A customer that was idle starts at the present
- * virtual time: it neither saves up a claim nor pays for the others' backlog.
+ * Adds a request at the end of its customer's queue. A customer that was idle starts at the current
+ * virtual time, so it neither accumulates credit while idle nor pays for the backlog of others.
  *
  * @param lane - lane of the request
  * @param request - new request
- * @returns the lane with the request
+ * @returns the lane with the request added
  */
 export const addToLane = (lane: Lane, request: WaitingRequest): Lane => {
   const known = lane.customers.get(request.customer);
@@ -69,8 +70,9 @@
 /**
  * Finds the request that start-time fair queueing serves next.
  *
- * @param lane - lane
- * @returns first request of the customer with the smallest start tag; the older one at a tie
+ * @param lane - lane to search
+ * @returns first request of the customer with the smallest start tag, the older request at a tie;
+ * undefined when the lane is empty
  */
 export const findHead = (lane: Lane): WaitingRequest | undefined => {
   let best: { readonly tag: number; readonly request: WaitingRequest } | undefined;
@@ -87,7 +89,7 @@
 };
 
 /**
- * Takes a request out of a lane without charge.
+ * Removes a request from a lane without charging its customer.
  *
  * @param lane - lane of the request
  * @param request - waiting request
@@ -101,8 +103,8 @@
 };
 
 /**
- * Serves a request: its customer is charged its predicted tokens, and virtual time moves to its
- * start.
+ * Serves a request: its customer is charged the predicted tokens, and virtual time advances to the
+ * start tag of the request.
  *
  * @param lane - lane of the request
  * @param request - waiting request
@@ -119,12 +121,12 @@
 };
 
 /**
- * Charges the difference between a served request's tokens and its prediction. An early end gives
- * back no more than the customer's lead over the others.
+ * Charges the difference between a served request's tokens and its prediction. When it used fewer,
+ * the refund does not move the customer's start tag behind virtual time.
  *
  * @param lane - lane of the request
  * @param request - served request
- * @param actualTokens - tokens it took
+ * @param actualTokens - tokens that the request used
  * @returns the lane with the corrected start tag
  */
 export const settleInLane = (lane: Lane, request: WaitingRequest, actualTokens: number): Lane => {
@@ -137,26 +139,26 @@
   });
 };
 
-/** A request that would be served last, and when in virtual time. */
-export interface LastInLine {
+/** Last waiting request of a customer, and the finish tag of that customer's backlog. */
+export interface ShedCandidate {
   readonly request: WaitingRequest;
   readonly finishTag: number;
 }
 
 /**
- * Finds the request to give up when a lane is too long: the newest of the customer whose backlog
- * ends last.
+ * Finds the request to shed when a lane is too long: the newest one of the customer whose backlog
+ * finishes last.
  *
- * @param lane - lane
- * @returns the request, or nothing when the lane is empty
+ * @param lane - lane to search
+ * @returns the request, or undefined when the lane is empty
  */
-export const findLast = (lane: Lane): LastInLine | undefined => {
-  let last: LastInLine | undefined;
+export const findShedCandidate = (lane: Lane): ShedCandidate | undefined => {
+  let last: ShedCandidate | undefined;
   for (const queue of lane.customers.values()) {
     const request = queue.waiting.at(-1);
     if (request === undefined) continue;
     const backlog = queue.waiting.reduce((sum, item) => sum + item.predictedTokens, 0);
-    // Counted from now on, so that lanes with different virtual times can be compared.
+    // Relative to the lane's virtual time, so that tags of different lanes can be compared.
     const finishTag = queue.startTag - lane.virtualTime + backlog / queue.weight;
     if (last === undefined || finishTag > last.finishTag) last = { request, finishTag };
   }
@@ -166,7 +168,7 @@
 /**
  * Lists the requests that can no longer start in time.
  *
- * @param lane - lane
+ * @param lane - lane to search
  * @param now - current instant
  * @returns expired requests
  */
@@ -178,9 +180,9 @@
 /**
  * Finds a waiting request.
  *
- * @param lane - lane of the request
- * @param requestId - its id
- * @returns the request, or nothing when it does not wait here
+ * @param lane - lane to search
+ * @param requestId - id of the request
+ * @returns the request, or undefined when it does not wait in this lane
  */
 export const findWaiting = (lane: Lane, requestId: RequestId): WaitingRequest | undefined => {
   for (const queue of lane.customers.values()) {
--- a/packages/decisions/fairness/types.ts
+++ b/packages/decisions/fairness/types.ts
@@ -8,15 +8,15 @@
   readonly requestId: RequestId;
   readonly className: ClassName;
   readonly importance: Importance;
-  /** Model or service; requests for different ones do not wait for each other. */
+  /** Model or service; requests for different resources do not wait for each other. */
   readonly resource: string;
   readonly customer: CustomerId;
-  /** Share of the customer relative to others; positive. */
+  /** Weight of the customer in the fair share; positive. */
   readonly weight: number;
-  /** Cost in tokens, predicted by the length estimates. */
+  /** Cost in tokens as predicted by the length estimates. */
   readonly predictedTokens: number;
   readonly enqueuedAt: Millis;
-  /** Instant after which a start can no longer meet the caller's deadline. */
+  /** Instant after which a start is too late for the caller's deadline. */
   readonly latestStartAt: Millis;
 }
 
@@ -24,33 +24,34 @@
 export interface CustomerQueue {
   readonly customer: CustomerId;
   readonly weight: number;
-  /** Virtual time at which the first request may start, or at which the last served one ended. */
+  /** Start tag of the first waiting request, or finish tag of the last served one when none waits. */
   readonly startTag: number;
   readonly waiting: readonly WaitingRequest[];
 }
 
-/** Requests of one class for one model or service. */
+/** Waiting requests of one class for one model or service. */
 export interface Lane {
   readonly className: ClassName;
   readonly importance: Importance;
   readonly resource: string;
-  /** Start tag of the request served last. */
+  /** Virtual time of the lane: start tag of the request served last. */
   readonly virtualTime: number;
-  /** Waiting requests of all customers. */
+  /** Number of waiting requests of all customers. */
   readonly count: number;
   readonly customers: ReadonlyMap<CustomerId, CustomerQueue>;
 }
 
-/** Bounds of the queue. */
+/** Bounds of the queue and the advice to refused callers. */
 export interface QueueSettings {
-  /** Waiting requests of all classes. */
+  /** Limit of the waiting requests of all classes. */
   readonly maxWaiting: number;
-  /** Waiting requests of one class. */
+  /** Limit of the waiting requests of one class. */
   readonly maxWaitingPerClass: number;
-  /** Advice to refused callers. */
+  /** Delay after which refused callers are advised to retry. */
   readonly retryAfterMs: Millis;
 }
 
+/** Waiting requests of one daemon by lane key. */
 export interface QueueState {
   readonly settings: QueueSettings;
   readonly lanes: ReadonlyMap<string, Lane>;
@@ -58,11 +59,11 @@
 
 export type QueueEvent =
   | { readonly kind: 'enqueue'; readonly request: WaitingRequest }
-  /** An endpoint was found for a waiting request. */
+  /** A waiting request was placed at an endpoint. */
   | { readonly kind: 'take'; readonly requestId: RequestId }
   | { readonly kind: 'cancel'; readonly requestId: RequestId }
   | { readonly kind: 'tick'; readonly now: Millis }
-  /** A served request ended; the difference to its prediction is charged to its customer. */
+  /** A served request ended; its customer is charged the difference from the prediction. */
   | {
       readonly kind: 'settle';
       readonly request: WaitingRequest;
