--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -56,8 +56,8 @@
 };
 
 /**
- * Lists the requests to place next: the head of each lane by fair queueing, ordered by importance and,
- * within an importance, by the longest wait.
+ * Lists the requests to place next: the head of each lane by fair queueing, the most important
+ * first and, within an importance, the longest wait first.
  *
  * @param state - queue
  * @returns at most one request for each class and resource
@@ -158,7 +158,7 @@
   return pickShedCandidate(lanes.filter((lane) => toRank(lane.importance) === least));
 };
 
-/** Sheds a request above the bounds. The arrival is already queued, so it competes with the others. */
+/** Sheds a request above the bounds. The arrival is queued already and competes with the others. */
 const shedExcess = (state: QueueState, arrival: WaitingRequest): QueueStep => {
   const { maxWaiting, maxWaitingPerClass, retryAfterMs } = state.settings;
   if (countClass(state, arrival.className) > maxWaitingPerClass) {
--- a/packages/decisions/fairness/fairness.test.ts
+++ b/packages/decisions/fairness/fairness.test.ts
@@ -66,8 +66,8 @@
   },
 );
 
-// Guards against requests that are lost, served twice, overtaken by later ones of their own customer,
-// or queued above the bounds, for any order of events.
+// Guards against requests that are lost, served twice, overtaken by later ones of their own
+// customer, or queued above the bounds, for any order of events.
 test('every request ends once, customers are served in order, and the bounds hold', (t) => {
   fc.assert(
     fc.property(fc.array(action, { maxLength: 200 }), (actions) => {
@@ -143,8 +143,8 @@
   t.pass();
 });
 
-// Guards against large customers that starve a small one: at most one request of each other customer
-// is served before its request.
+// Guards against large customers that starve a small one: at most one request of each other
+// customer is served before its request.
 test('a small customer waits for at most one request of each large one', (t) => {
   fc.assert(
     fc.property(
--- a/packages/decisions/fairness/lane.ts
+++ b/packages/decisions/fairness/lane.ts
@@ -20,7 +20,7 @@
 export const formatLaneKey = (request: WaitingRequest): string =>
   `${request.className}\u0000${request.resource}`;
 
-/** Updates a customer's queue. An empty one is kept only while its start tag is ahead of virtual time. */
+/** Stores a customer's queue; an empty one only while its start tag is ahead of virtual time. */
 const applyQueue = (lane: Lane, queue: CustomerQueue): Lane => {
   const customers = new Map(lane.customers);
   const before = customers.get(queue.customer)?.waiting.length ?? 0;
--- a/packages/decisions/fairness/types.ts
+++ b/packages/decisions/fairness/types.ts
@@ -24,7 +24,7 @@
 export interface CustomerQueue {
   readonly customer: CustomerId;
   readonly weight: number;
-  /** Start tag of the first waiting request, or finish tag of the last served one when none waits. */
+  /** Start tag of the first waiting request; when none waits, finish tag of the last served one. */
   readonly startTag: number;
   readonly waiting: readonly WaitingRequest[];
 }
--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -34,5 +34,5 @@
 /** Back-off for an endpoint that refused a request for lack of capacity. */
 export const OVERLOAD_BACKOFF_MS = 40;
 
-/** Weight of an output token in the transfer priority of a generation, relative to a prompt token. */
+/** Weight of an output token, relative to a prompt token, in a generation's transfer priority. */
 export const OUTPUT_TOKEN_WORTH = 10;
--- a/packages/decisions/forwarding/crashSuspicion.ts
+++ b/packages/decisions/forwarding/crashSuspicion.ts
@@ -22,8 +22,8 @@
 export const createCrashTable = (): CrashTable => new Map();
 
 /**
- * Records that an endpoint crashed while it ran a request. Above `MAX_CRASH_RECORDS` the record with
- * the oldest latest crash is evicted.
+ * Records that an endpoint crashed while it ran a request. Above `MAX_CRASH_RECORDS`, the least
+ * recently updated record is evicted.
  *
  * @param table - table to update
  * @param fingerprint - hash of the request's content
--- a/packages/decisions/forwarding/endpointHealth.ts
+++ b/packages/decisions/forwarding/endpointHealth.ts
@@ -12,7 +12,7 @@
   | { readonly kind: 'answered'; readonly durationMs: Millis }
   /** The endpoint refused the request for lack of capacity. */
   | { readonly kind: 'full' }
-  /** The endpoint returned an error, broke the connection, sent an invalid answer or did not answer in time. */
+  /** The endpoint returned an error or an invalid answer, broke the connection or timed out. */
   | { readonly kind: 'failed' }
   /** The connection could not be established. */
   | { readonly kind: 'unreachable' };
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -15,7 +15,7 @@
 export interface SplitResult {
   readonly state: SplitterState;
   readonly events: readonly StreamEvent[];
-  /** `too-large`: the incomplete event exceeds `MAX_EVENT_BYTES`, so this is not an event stream. */
+  /** `too-large`: an event exceeds `MAX_EVENT_BYTES`, so the bytes are not an event stream. */
   readonly outcome: 'ok' | 'too-large';
 }
 
--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeForward.test.ts
@@ -89,7 +89,7 @@
   t.true(computeFailureRate(health, CRITERIA.now + 20_000) < 0.05);
 });
 
-// Guards against prompts that queue up at an engine that has just started and has little memory in use.
+// Guards against prompts that queue up at an engine that has just started and whose memory is free.
 test('pending prompts weigh more than memory in use', (t) => {
   const candidates = [
     buildCandidate(buildEndpoint('e-1'), {
@@ -138,7 +138,7 @@
   t.is(placeTransfer(candidates, CRITERIA, runner, random)?.record.id, 'e-2');
 });
 
-// Guards against a generation that is abandoned although an engine may have enough memory, since the
+// Guards against a generation that is abandoned although an engine may have enough memory: the
 // memory in use is an estimate.
 test('a transfer without a target with enough free memory uses the least loaded one', (t) => {
   const runner = buildEndpoint('e-1');
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -67,7 +67,8 @@
 
 /**
  * Share of all engines' memory in use above which no more backups are made. Backups in memory that
- * running generations need soon cause preemptions, which cost more generations than the backups save.
+ * running generations need soon cause preemptions, and these cost more generations than the
+ * backups save.
  */
 const MAX_MEMORY_SHARE_FOR_BACKUPS = 0.35;
 
@@ -170,7 +171,7 @@
 };
 
 /**
- * Chooses the endpoint of one attempt. Endpoints that the request has not been sent to are preferred.
+ * Chooses the endpoint of one attempt, preferably one that the request has not been sent to yet.
  *
  * @param candidates - endpoints of the service
  * @param criteria - requirements of the request
@@ -253,7 +254,7 @@
   );
 };
 
-/** Returns the targets with enough free memory, or all if none has: a full engine refuses at once. */
+/** Lists the targets with enough free memory, or all if none has: a full engine refuses at once. */
 const listTransferTargets = (
   candidates: readonly Candidate[],
   criteria: PlacementQuestion,
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -17,7 +17,7 @@
   retries: number;
 }
 
-/** Sliding window of one service's requests and retries in this daemon; only this module updates it. */
+/** Requests and retries of one service in this daemon; only this module updates the window. */
 export interface BudgetWindow {
   readonly buckets: Bucket[];
 }
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -6,7 +6,7 @@
 /** Whether a request may be sent again after it may have run: `once` requests run at most once. */
 export type RetryPolicy = 'idempotent' | 'once';
 
-/** How an answer is delivered: as one body, or as a stream of events that are forwarded on arrival. */
+/** How an answer is delivered: as one body, or as events that are forwarded on arrival. */
 export type AnswerShape = 'whole' | 'stream';
 
 /** Whether another endpoint can resume a stream after a given event. */
