Reword the stream delivery and its buffer

"Taken", "shown" and "trouble" stood for acknowledged, written to the caller and a link outage, and the pause and continue shares are a high and a low watermark. The comments say so, and name the orphan policy, the back-off and the back-pressure of the engine. Two messages said "nobody read" and "took nothing"; they now say that the generation had no reader and that the reader acknowledged no chunk.

--- a/packages/decisions/streams/buffer.ts
+++ b/packages/decisions/streams/buffer.ts
@@ -10,11 +10,11 @@
 import {
   BUFFER_MAX_BYTES,
   BUFFER_MAX_CHUNKS,
-  CONTINUE_SHARE,
+  LOW_WATERMARK,
   ORPHAN_TIMEOUT_MS,
-  PAUSE_SHARE,
+  HIGH_WATERMARK,
   READER_WINDOW_CHUNKS,
-  REPLACED_STREAMS_KEPT,
+  MAX_REPLACED_STREAMS,
   RETENTION_MS,
   SLOW_READER_TIMEOUT_MS,
 } from './constants.js';
@@ -27,7 +27,7 @@
 
 type BufferStep = Step<BufferState, BufferEffect>;
 
-/** Bounds of a buffer in a running daemon. */
+/** Limits of a buffer in production. */
 export const DEFAULT_BUFFER_LIMITS: BufferLimits = {
   maxChunks: BUFFER_MAX_CHUNKS,
   maxBytes: BUFFER_MAX_BYTES,
@@ -39,7 +39,7 @@
  * Creates the buffer of a generation that starts now.
  *
  * @param now - current instant
- * @param limits - bounds of the buffer and of what a reader may have untaken
+ * @param limits - limits of the buffer and of a reader's unacknowledged chunks
  * @returns an empty buffer without a reader
  */
 export const initBuffer = (
@@ -81,16 +81,16 @@
   }
 };
 
-/** Sends what the reader's window allows, then the end once everything was sent. */
+/** Sends the chunks that the reader's window allows, and the end after the last chunk. */
 const sendReady = (state: BufferState, now: Millis): BufferStep => {
   const { reader, ring, limits } = state;
   if (reader === null) return toStep(state);
-  const room = limits.windowChunks - (reader.sent - reader.taken);
-  const chunks = room > 0 ? ring.list(reader.sent, room) : [];
+  const windowLeft = limits.windowChunks - (reader.sent - reader.acknowledged);
+  const chunks = windowLeft > 0 ? ring.list(reader.sent, windowLeft) : [];
   if (chunks.length === 0) return toStep(state);
   const sent = reader.sent + chunks.length;
-  const activeAt = reader.sent === reader.taken ? now : reader.activeAt;
-  const next = { ...reader, sent, activeAt };
+  const lastProgressAt = reader.sent === reader.acknowledged ? now : reader.lastProgressAt;
+  const next = { ...reader, sent, lastProgressAt };
   return toStep<BufferState, BufferEffect>(
     { ...state, reader: next },
     { kind: 'send-chunks', ...toIdentity(reader), firstNumber: reader.sent, chunks },
@@ -98,32 +98,32 @@
   );
 };
 
-/** Chunks that the next reader or the active one still needs; only those before them are dropped. */
-const getNeededFrom = (state: BufferState): number => {
-  if (state.reader !== null) return state.reader.taken;
+/** Returns the first chunk number that a reader still needs; only chunks before it are dropped. */
+const getFirstNeeded = (state: BufferState): number => {
+  if (state.reader !== null) return state.reader.acknowledged;
   if (state.limits.orphans === 'kept') return state.ring.getNext();
   return state.phase === 'generating' ? state.ring.getFirst() : state.ring.getNext();
 };
 
 const computeUnreadShare = (state: BufferState): number => {
   const { ring, limits } = state;
-  const needed = getNeededFrom(state);
+  const needed = getFirstNeeded(state);
   const kept = ring.getNext() - ring.getFirst();
   const unread = ring.getNext() - needed;
   const unreadBytes = kept === 0 ? 0 : (ring.getBytes() * unread) / kept;
   return Math.max(unread / limits.maxChunks, unreadBytes / limits.maxBytes);
 };
 
-/** Holds the engine's connection back while a reader is slow or absent, so that the bound holds. */
+/** Enforces the limits: prunes the ring and pauses the engine while a reader is slow or absent. */
 const updateFlow = (step: BufferStep): BufferStep => {
   const { state } = step;
-  state.ring.prune(getNeededFrom(state), state.limits.maxChunks, state.limits.maxBytes);
+  state.ring.prune(getFirstNeeded(state), state.limits.maxChunks, state.limits.maxBytes);
   if (state.phase !== 'generating') return step;
   const share = computeUnreadShare(state);
-  if (state.flow === 'flowing' && share >= PAUSE_SHARE) {
+  if (state.flow === 'flowing' && share >= HIGH_WATERMARK) {
     return toStep({ ...state, flow: 'paused' }, ...step.effects, { kind: 'pause-engine' });
   }
-  if (state.flow === 'paused' && share <= CONTINUE_SHARE) {
+  if (state.flow === 'paused' && share <= LOW_WATERMARK) {
     return toStep({ ...state, flow: 'flowing' }, ...step.effects, { kind: 'continue-engine' });
   }
   return step;
@@ -143,7 +143,7 @@
 const cancelWith = (state: BufferState, failure: Failure, now: Millis): BufferStep =>
   closeWith(state, { kind: 'failed', failure }, now, { kind: 'cancel-engine' });
 
-const isOverfull = (state: BufferState): boolean => computeUnreadShare(state) > 1;
+const isOverLimit = (state: BufferState): boolean => computeUnreadShare(state) > 1;
 
 const addChunks = (
   state: BufferState,
@@ -152,11 +152,11 @@
   if (state.phase !== 'generating') return toStep(state);
   state.ring.append(event.chunks);
   const step = updateFlow(sendReady(state, event.now));
-  if (!isOverfull(step.state)) return step;
-  const text = 'the engine sent more than the buffer can hold while its reader was behind';
+  if (!isOverLimit(step.state)) return step;
+  const message = 'the engine sent more than the buffer can hold while its reader was behind';
   const cancelled = cancelWith(
     step.state,
-    createFailure('may-have-run', 'stream-lost', text),
+    createFailure('may-have-run', 'stream-lost', message),
     event.now,
   );
   return toStep(cancelled.state, ...step.effects, ...cancelled.effects);
@@ -174,52 +174,57 @@
   failure: createFailure('may-have-run', code, message),
 });
 
-const REPLACED_TEXT = 'a newer reader took over the generation';
+const REPLACED_MESSAGE = 'a newer reader took over the generation';
 
-const checkOpening = (state: BufferState, event: OpenEvent): BufferEffect | null => {
+const checkOpen = (state: BufferState, event: OpenEvent): BufferEffect | null => {
   const { reader, ring } = state;
   const isOlderLink = reader?.stream === event.stream && event.link <= reader.link;
   if (isOlderLink || state.replaced.includes(event.stream)) {
-    return refuseReader(event, 'lost-race', REPLACED_TEXT);
+    return refuseReader(event, 'lost-race', REPLACED_MESSAGE);
   }
   if (event.fromNumber < ring.getFirst()) {
     const first = ring.getFirst().toString();
-    const text = `chunk ${event.fromNumber.toString()} is no longer kept; the first is ${first}`;
-    return refuseReader(event, 'stream-lost', text);
+    const message = `chunk ${event.fromNumber.toString()} is no longer kept; the first is ${first}`;
+    return refuseReader(event, 'stream-lost', message);
   }
   if (event.fromNumber > ring.getNext()) {
-    const text = `chunk ${event.fromNumber.toString()} does not exist yet`;
-    return refuseReader(event, 'stream-lost', text);
+    const message = `chunk ${event.fromNumber.toString()} does not exist yet`;
+    return refuseReader(event, 'stream-lost', message);
   }
   return null;
 };
 
 const openReader = (state: BufferState, event: OpenEvent): BufferStep => {
-  const refusal = checkOpening(state, event);
+  const refusal = checkOpen(state, event);
   if (refusal !== null) return toStep(state, refusal);
   const older = state.reader;
   const isTakeover = older !== null && older.stream !== event.stream;
   const replaced = isTakeover
-    ? [...state.replaced, older.stream].slice(-REPLACED_STREAMS_KEPT)
+    ? [...state.replaced, older.stream].slice(-MAX_REPLACED_STREAMS)
     : state.replaced;
   const { fromNumber, now } = event;
-  const reader = { ...toIdentity(event), sent: fromNumber, taken: fromNumber, activeAt: now };
+  const reader = {
+    ...toIdentity(event),
+    sent: fromNumber,
+    acknowledged: fromNumber,
+    lastProgressAt: now,
+  };
   const opened = { ...state, reader, replaced };
   const step = updateFlow(sendReady(opened, now));
-  const notices = isTakeover ? [refuseReader(older, 'lost-race', REPLACED_TEXT)] : [];
+  const notices = isTakeover ? [refuseReader(older, 'lost-race', REPLACED_MESSAGE)] : [];
   const ends = reader.sent === state.ring.getNext() ? buildEnd(state, reader) : [];
   return toStep(step.state, ...notices, ...step.effects, ...ends);
 };
 
-const takeByReader = (
+const handleAcknowledgement = (
   state: BufferState,
   event: Extract<BufferEvent, { readonly kind: 'reader-took' }>,
 ): BufferStep => {
   const { reader } = state;
   if (reader === null || !isActive(state, event)) return toStep(state);
-  const taken = Math.min(event.nextNumber, reader.sent);
-  if (taken <= reader.taken) return toStep(state);
-  const next = { ...state, reader: { ...reader, taken, activeAt: event.now } };
+  const acknowledged = Math.min(event.nextNumber, reader.sent);
+  if (acknowledged <= reader.acknowledged) return toStep(state);
+  const next = { ...state, reader: { ...reader, acknowledged, lastProgressAt: event.now } };
   return updateFlow(sendReady(next, event.now));
 };
 
@@ -227,22 +232,22 @@
   toStep({ ...state, reader: null, idleSince: now });
 
 const isSlow = (reader: Reader, now: Millis): boolean =>
-  reader.sent > reader.taken && now - reader.activeAt >= SLOW_READER_TIMEOUT_MS;
+  reader.sent > reader.acknowledged && now - reader.lastProgressAt >= SLOW_READER_TIMEOUT_MS;
 
-const expireGenerating = (state: BufferState, now: Millis): BufferStep => {
+const expireRunning = (state: BufferState, now: Millis): BufferStep => {
   if (state.reader === null) {
     if (state.limits.orphans === 'kept') return toStep(state);
     if (now - state.idleSince < ORPHAN_TIMEOUT_MS) return toStep(state);
-    const text = `nobody read the generation for ${(now - state.idleSince).toFixed(0)} ms`;
-    return cancelWith(state, createFailure('may-have-run', 'cancelled', text), now);
+    const message = `the generation had no reader for ${(now - state.idleSince).toFixed(0)} ms`;
+    return cancelWith(state, createFailure('may-have-run', 'cancelled', message), now);
   }
   if (!isSlow(state.reader, now)) return toStep(state);
-  const text = `the reader took nothing for ${(now - state.reader.activeAt).toFixed(0)} ms`;
-  const failure = createFailure('may-have-run', 'stream-lost', text);
+  const message = `the reader acknowledged no chunk for ${(now - state.reader.lastProgressAt).toFixed(0)} ms`;
+  const failure = createFailure('may-have-run', 'stream-lost', message);
   const notice: BufferEffect = { kind: 'send-failed', ...toIdentity(state.reader), failure };
   if (state.limits.orphans === 'kept') {
-    const left = updateFlow(closeReader(state, now));
-    return toStep(left.state, notice, ...left.effects);
+    const detached = updateFlow(closeReader(state, now));
+    return toStep(detached.state, notice, ...detached.effects);
   }
   const cancelled = cancelWith({ ...state, reader: null }, failure, now);
   return toStep(cancelled.state, notice, ...cancelled.effects);
@@ -251,7 +256,7 @@
 const expire = (state: BufferState, now: Millis): BufferStep => {
   switch (state.phase) {
     case 'generating':
-      return expireGenerating(state, now);
+      return expireRunning(state, now);
     case 'ended': {
       if (now - state.idleSince < RETENTION_MS) return toStep(state);
       state.ring.clear();
@@ -274,12 +279,13 @@
 ): BufferStep => (state.phase === 'generating' ? closeWith(state, end, now) : toStep(state));
 
 /**
- * Decides one event of a generation's buffer. Chunks keep their numbers, the newest reader gets
- * them in order from the number it asked for, and a generation that nobody reads is cancelled.
+ * Handles one event of a generation's buffer. Chunks keep their numbers, the newest reader receives
+ * them in order from the number that it requested, and a generation without a reader is cancelled
+ * unless its limits keep it.
  *
  * @param state - buffer before the event; its ring is updated in place
- * @param event - what the engine, a reader or the clock did
- * @returns the next state and what to send or to tell the engine
+ * @param event - event of the engine, a reader or the clock
+ * @returns the next state, and the messages to readers and commands to the engine
  */
 export const decideBuffer = (state: BufferState, event: BufferEvent): BufferStep => {
   switch (event.kind) {
@@ -292,7 +298,7 @@
     case 'reader-opened':
       return openReader(state, event);
     case 'reader-took':
-      return takeByReader(state, event);
+      return handleAcknowledgement(state, event);
     case 'reader-closed':
       return isActive(state, event) ? updateFlow(closeReader(state, event.now)) : toStep(state);
     case 'cancelled': {
--- a/packages/decisions/streams/bufferProperty.fixture.ts
+++ b/packages/decisions/streams/bufferProperty.fixture.ts
@@ -2,7 +2,7 @@
 import { decideBuffer, initBuffer } from './buffer.js';
 import type { BufferEvent, BufferLimits, BufferState } from './bufferTypes.js';
 
-/** Small bounds, so that a short run reaches them. */
+/** Small limits, so that a short run reaches them. */
 export const BUFFER_LIMITS = {
   maxChunks: 16,
   maxBytes: 200,
@@ -15,22 +15,30 @@
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('produce' as const), count: fc.nat(3) }) },
   {
     weight: 2,
-    arbitrary: fc.record({ kind: fc.constant('open' as const), who: anyReader, from: fc.nat(40) }),
+    arbitrary: fc.record({
+      kind: fc.constant('open' as const),
+      identity: anyReader,
+      from: fc.nat(40),
+    }),
   },
   {
     weight: 5,
-    arbitrary: fc.record({ kind: fc.constant('take' as const), who: anyReader, to: fc.nat(40) }),
+    arbitrary: fc.record({
+      kind: fc.constant('take' as const),
+      identity: anyReader,
+      to: fc.nat(40),
+    }),
   },
-  fc.record({ kind: fc.constant('close' as const), who: anyReader }),
+  fc.record({ kind: fc.constant('close' as const), identity: anyReader }),
   fc.record({ kind: fc.constant('tick' as const), by: fc.nat(6_000) }),
   fc.record({ kind: fc.constantFrom('finish' as const, 'fail' as const) }),
 );
 
 /**
- * Builds the property that a buffer stays within its bounds and sends each reader its chunks in
+ * Builds the property that a buffer stays within its limits and sends each reader its chunks in
  * order.
  *
- * @param orphans - what becomes of a generation without a reader
+ * @param orphans - whether a generation without a reader is cancelled or kept
  * @returns a fast-check property that throws with the violation
  */
 export const buildBufferProperty = (orphans: BufferLimits['orphans']) =>
@@ -45,16 +53,18 @@
       for (const effect of step.effects) {
         if (!('stream' in effect)) continue;
         const key = `${effect.stream}${effect.link.toString()}`;
-        if (effect.kind === 'send-finished' && next.get(key) !== produced) throw new Error('early');
+        if (effect.kind === 'send-finished' && next.get(key) !== produced)
+          throw new Error('finished before the last chunk');
         if (effect.kind !== 'send-chunks') continue;
-        if (next.get(key) !== effect.firstNumber) throw new Error(`gap before ${key}`);
+        if (next.get(key) !== effect.firstNumber) throw new Error(`gap before reader ${key}`);
         effect.chunks.forEach((chunk, at) => {
           if (chunk !== `chunk ${(effect.firstNumber + at).toString()}`) throw new Error(chunk);
         });
         next.set(key, effect.firstNumber + effect.chunks.length);
       }
-      const untaken = state.reader === null ? 0 : state.reader.sent - state.reader.taken;
-      if (untaken > BUFFER_LIMITS.windowChunks) throw new Error('window exceeded');
+      const unacknowledged =
+        state.reader === null ? 0 : state.reader.sent - state.reader.acknowledged;
+      if (unacknowledged > BUFFER_LIMITS.windowChunks) throw new Error('window exceeded');
       const kept = state.ring.getNext() - state.ring.getFirst();
       const isOver =
         kept > BUFFER_LIMITS.maxChunks || state.ring.getBytes() > BUFFER_LIMITS.maxBytes;
@@ -73,20 +83,21 @@
           break;
         }
         case 'open': {
-          const key = `${command.who.stream}${command.who.link.toString()}`;
+          const key = `${command.identity.stream}${command.identity.link.toString()}`;
           const before = next.get(key);
           next.set(key, command.from);
-          apply({ kind: 'reader-opened', ...command.who, fromNumber: command.from, now });
+          apply({ kind: 'reader-opened', ...command.identity, fromNumber: command.from, now });
           const isOpen =
-            state.reader?.stream === command.who.stream && state.reader.link === command.who.link;
+            state.reader?.stream === command.identity.stream &&
+            state.reader.link === command.identity.link;
           if (before !== undefined && isOpen) next.set(key, state.reader?.sent ?? 0);
           break;
         }
         case 'take':
-          apply({ kind: 'reader-took', ...command.who, nextNumber: command.to, now });
+          apply({ kind: 'reader-took', ...command.identity, nextNumber: command.to, now });
           break;
         case 'close':
-          apply({ kind: 'reader-closed', ...command.who, now });
+          apply({ kind: 'reader-closed', ...command.identity, now });
           break;
         case 'tick':
           now += command.by;
--- a/packages/decisions/streams/bufferTypes.ts
+++ b/packages/decisions/streams/bufferTypes.ts
@@ -13,10 +13,10 @@
 export interface Reader extends ReaderIdentity {
   /** Next chunk number to send. */
   readonly sent: number;
-  /** First chunk number that the reader has not confirmed to have taken. */
-  readonly taken: number;
-  /** Last instant at which the reader took something or had nothing to take. */
-  readonly activeAt: Millis;
+  /** First chunk number that the reader has not acknowledged. */
+  readonly acknowledged: number;
+  /** Last instant at which the reader acknowledged chunks or had none to acknowledge. */
+  readonly lastProgressAt: Millis;
 }
 
 /** How the engine ended a generation. */
@@ -24,39 +24,39 @@
   | { readonly kind: 'finished'; readonly usage: string }
   | { readonly kind: 'failed'; readonly failure: Failure };
 
-/** `ended` generations stay readable until they are released. */
+/** Phase of a buffer; an `ended` generation stays readable until it is released. */
 export type BufferPhase = 'generating' | 'ended' | 'released';
 
-/** Whether chunks are read from the engine's connection now. */
+/** Whether chunks are currently read from the engine's connection. */
 export type EngineFlow = 'flowing' | 'paused';
 
-/** Bounds of one buffer; bytes are counted as the length of the JSON strings. */
+/** Limits of one buffer; bytes are counted as the length of the JSON strings. */
 export interface BufferLimits {
   readonly maxChunks: number;
   readonly maxBytes: number;
   readonly windowChunks: number;
   /**
-   * What becomes of a generation that nobody reads. `kept` ones run to their end without holding
-   * the engine back, because their caller may ask for the answer by its key.
+   * Whether a generation without a reader is cancelled. A `kept` one runs to its end and does not
+   * pause the engine, because its caller may request the answer by its key.
    */
   readonly orphans: 'cancelled' | 'kept';
 }
 
-/** Buffer of one generation at its endpoint daemon. */
+/** State of the buffer of one generation at its endpoint daemon. */
 export interface BufferState {
   readonly limits: BufferLimits;
   readonly phase: BufferPhase;
   readonly flow: EngineFlow;
   readonly ring: ChunkRing;
   readonly reader: Reader | null;
-  /** Streams whose caller went on elsewhere; a late resume of theirs must not win the reader back. */
+  /** Streams whose reader was replaced; a late resume of one must not replace the newer reader. */
   readonly replaced: readonly string[];
   readonly end: BufferEnd | null;
-  /** Instant since which nobody reads, or since which the generation has ended. */
+  /** Instant since which there is no reader or, in `ended`, at which the generation ended. */
   readonly idleSince: Millis;
 }
 
-/** What the engine, a reader or the clock does to a buffer. */
+/** Events from the engine, a reader or the clock. */
 export type BufferEvent =
   | { readonly kind: 'engine-chunks'; readonly chunks: readonly Chunk[]; readonly now: Millis }
   | { readonly kind: 'engine-finished'; readonly usage: string; readonly now: Millis }
@@ -75,7 +75,7 @@
   | { readonly kind: 'cancelled'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Messages to readers and orders to the engine. */
+/** Messages to readers and commands to the engine. */
 export type BufferEffect =
   | ({
       readonly kind: 'send-chunks';
@@ -91,5 +91,5 @@
   | { readonly kind: 'pause-engine' }
   | { readonly kind: 'continue-engine' }
   | { readonly kind: 'cancel-engine' }
-  /** The buffer holds nothing more and can be forgotten. */
+  /** The buffer is empty and its state can be deleted. */
   | { readonly kind: 'release' };
--- a/packages/decisions/streams/chunkRing.ts
+++ b/packages/decisions/streams/chunkRing.ts
@@ -1,28 +1,29 @@
 import type { Chunk } from './types.js';
 
 /**
- * Numbered chunks of one generation within a bound.
+ * Numbered chunks of one generation, within limits of their count and bytes.
  *
- * The list is updated in place: a generation has tens of thousands of chunks, and a copy for each
- * would cost the square of its length. Only `buffer.ts` holds a ring.
+ * The ring is updated in place: a generation has tens of thousands of chunks, and a copy for each
+ * would take quadratic time. Only `buffer.ts` uses it.
  */
 export interface ChunkRing {
   /** Adds chunks at the end. */
   readonly append: (chunks: readonly Chunk[]) => void;
-  /** Lists at most `limit` chunks from a number on; the number must not have been dropped. */
+  /** Lists at most `limit` chunks from a number on, which must not be below `getFirst()`. */
   readonly list: (fromNumber: number, limit: number) => readonly Chunk[];
-  /** Drops the oldest chunks below a number until the rest is within both bounds. */
+  /** Drops the oldest chunks below a number until the rest is within both limits. */
   readonly prune: (belowNumber: number, maxChunks: number, maxBytes: number) => void;
-  /** Drops everything and keeps the numbers. */
+  /** Drops all chunks; the numbering continues. */
   readonly clear: () => void;
-  /** Number of the oldest chunk that is kept. */
+  /** Returns the number of the oldest chunk that is kept. */
   readonly getFirst: () => number;
-  /** Number that the next chunk will get. */
+  /** Returns the number of the next chunk to be appended. */
   readonly getNext: () => number;
+  /** Returns the total length of the kept chunks. */
   readonly getBytes: () => number;
 }
 
-/** Dropped entries at the head of the list after which it is compacted. */
+/** Number of dropped entries at the head of the list from which it is compacted. */
 const COMPACTION_CHUNKS = 1_024;
 
 /**
--- a/packages/decisions/streams/constants.ts
+++ b/packages/decisions/streams/constants.ts
@@ -1,38 +1,41 @@
 /**
- * Time without any sign of a generation after which its endpoint counts as dead; equals the gone
- * timer of membership.
+ * Time without an opened link or a chunk after which a generation's endpoint counts as lost; equals
+ * the timeout after which membership counts an endpoint as gone.
  */
 export const RESUME_TIMEOUT_MS = 5_000;
 
-/** Delay before the second resume in a row; the first is immediate and later ones double it. */
+/** Back-off before the second consecutive resume; the first is immediate, later ones double it. */
 export const RESUME_BACKOFF_FIRST_MS = 50;
 
-/** Longest delay between two resumes. */
+/** Upper limit of the back-off between two resumes. */
 export const RESUME_BACKOFF_MAX_MS = 1_000;
 
 /** Time without a reader after which a generation is cancelled at the engine. */
 export const ORPHAN_TIMEOUT_MS = 10_000;
 
-/** Time for which an ended generation stays readable, so that a caller can fetch a lost tail. */
+/** Time for which an ended generation stays readable, so that a caller can fetch missed chunks. */
 export const RETENTION_MS = 30_000;
 
-/** Time for which a reader may take nothing while chunks wait; longer, and it would hold engine memory. */
+/**
+ * Time for which a reader may leave sent chunks unacknowledged. A slower one would keep
+ * engine memory in use.
+ */
 export const SLOW_READER_TIMEOUT_MS = 15_000;
 
-/** Chunks kept per generation; with the byte bound this limits 100 streams to 50 MB. */
+/** Limit of the chunks kept per generation; with the byte limit, 100 streams use at most 50 MB. */
 export const BUFFER_MAX_CHUNKS = 4_096;
 
-/** Bytes kept per generation. */
+/** Limit of the bytes kept per generation. */
 export const BUFFER_MAX_BYTES = 512 * 1_024;
 
-/** Chunks sent to a reader and not yet taken; bounds what waits in the connection. */
+/** Limit of the unacknowledged chunks of a reader; it bounds the backlog of the connection. */
 export const READER_WINDOW_CHUNKS = 256;
 
-/** Share of the bound filled with unread chunks at which reading from the engine stops. */
-export const PAUSE_SHARE = 0.5;
+/** Share of a buffer limit filled with unread chunks at which reading from the engine pauses. */
+export const HIGH_WATERMARK = 0.5;
 
-/** Share at which reading from the engine goes on; lower than the pause share to avoid flapping. */
-export const CONTINUE_SHARE = 0.25;
+/** Share at which reading from the engine resumes; below the high watermark to avoid flapping. */
+export const LOW_WATERMARK = 0.25;
 
-/** Replaced streams remembered per generation; a caller rarely moves more than once or twice. */
-export const REPLACED_STREAMS_KEPT = 8;
+/** Replaced streams kept per generation; a caller rarely changes entry daemons more than twice. */
+export const MAX_REPLACED_STREAMS = 8;
--- a/packages/decisions/streams/delivery.ts
+++ b/packages/decisions/streams/delivery.ts
@@ -9,7 +9,7 @@
   HeldChunks,
   LinkIdentity,
 } from './types.js';
-import { createStreamLost, mergeVerdicts } from './verdicts.js';
+import { createStreamLostFailure, mergeVerdicts } from './verdicts.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -19,14 +19,14 @@
 
 type DeliveryStep = Step<DeliveryState, DeliveryEffect>;
 
-/** State whose generation is known. */
+/** State of a stream with a generation that may still send chunks. */
 type AttachedState = DeliveryState & { readonly source: GenerationSource };
 
 /**
  * Creates the stream of a new request.
  *
- * @param delivery - whether chunks are shown as they arrive or only together
- * @returns a state that waits for its first attempt
+ * @param delivery - whether chunks are written as they arrive or all together
+ * @returns a state before its first attempt
  */
 export const initDelivery = (delivery: DeliveryMode): DeliveryState => ({
   delivery,
@@ -35,18 +35,18 @@
   source: null,
   link: 0,
   next: 0,
-  shown: 0,
+  written: 0,
   held: null,
   trouble: null,
   verdict: 'not-run',
 });
 
 /**
- * Takes up a stream that another entry daemon began, from the caller's resume ticket.
+ * Resumes a stream that another entry daemon started, from the caller's resume ticket.
  *
  * @param source - generation, endpoint and incarnation of the ticket
- * @param fromNumber - first chunk number that the caller has not seen
- * @returns the state and the resume at the ticket's endpoint
+ * @param fromNumber - first chunk number that the caller has not received
+ * @returns the state, and the resume request to the ticket's endpoint
  */
 export const resumeDelivery = (source: GenerationSource, fromNumber: number): DeliveryStep =>
   toStep(
@@ -56,7 +56,7 @@
       phase: 'receiving',
       source,
       next: fromNumber,
-      shown: fromNumber,
+      written: fromNumber,
       verdict: 'may-have-run',
     },
     { kind: 'resume', source, fromNumber, link: 0 },
@@ -71,19 +71,19 @@
 const isAttached = (state: DeliveryState): state is AttachedState =>
   state.source !== null && (state.phase === 'receiving' || state.phase === 'waiting');
 
-const isGeneration = (state: DeliveryState, event: LinkIdentity): state is AttachedState =>
+const isCurrentGeneration = (state: DeliveryState, event: LinkIdentity): state is AttachedState =>
   isAttached(state) && state.source.generationId === event.generationId;
 
 const isCurrentLink = (state: DeliveryState, event: LinkIdentity): state is AttachedState =>
-  isGeneration(state, event) && state.link === event.link;
+  isCurrentGeneration(state, event) && state.link === event.link;
 
 const isRestartable = (state: DeliveryState): boolean =>
-  state.shown === 0 && state.origin === 'fresh';
+  state.written === 0 && state.origin === 'fresh';
 
 const closeWith = (state: DeliveryState, ...effects: readonly DeliveryEffect[]): DeliveryStep =>
   toStep({ ...state, phase: 'ended', held: null }, ...effects);
 
-/** A refused resume says nothing about the start of the generation, so its `not-run` is no proof. */
+/** The `not-run` of a refused resume does not prove that the generation never started. */
 const resolveFailure = (state: AttachedState, failure: Failure): Failure => {
   const isFirstAnswer = state.link === 0 && state.next === 0;
   const verdict = isFirstAnswer ? failure.verdict : mergeVerdicts('may-have-run', failure.verdict);
@@ -94,7 +94,7 @@
   const cancels: readonly DeliveryEffect[] =
     failure.verdict === 'may-have-run' ? [{ kind: 'cancel-generation', source: state.source }] : [];
   if (!isRestartable(state)) {
-    const lost = createStreamLost(state.source, failure.message);
+    const lost = createStreamLostFailure(state.source, failure.message);
     return closeWith(state, ...cancels, { kind: 'fail', failure: lost });
   }
   const verdict = mergeVerdicts(state.verdict, failure.verdict);
@@ -105,21 +105,22 @@
   );
 };
 
-const resumeAt = (state: AttachedState, trouble: DeliveryState['trouble']): DeliveryStep => {
+const resumeLink = (state: AttachedState, outage: DeliveryState['trouble']): DeliveryStep => {
   const link = state.link + 1;
   return toStep<DeliveryState, DeliveryEffect>(
-    { ...state, phase: 'receiving', link, trouble },
+    { ...state, phase: 'receiving', link, trouble: outage },
     { kind: 'resume', source: state.source, fromNumber: state.next, link },
   );
 };
 
 /**
- * A newer reader means that the caller went on elsewhere, or that an old open arrived late. Ending
- * with a ticket serves both: a caller that is still here takes the generation back.
+ * `lost-race` means that the caller resumed at another entry daemon, or that an older open arrived
+ * late. The stream ends with a ticket in both cases: a caller that is still connected here resumes
+ * the generation with it.
  */
 const failLink = (state: AttachedState, failure: Failure): DeliveryStep =>
   failure.code === 'lost-race' && state.delivery === 'incremental'
-    ? closeWith(state, { kind: 'hand-over', source: state.source, fromNumber: state.shown })
+    ? closeWith(state, { kind: 'hand-over', source: state.source, fromNumber: state.written })
     : failGeneration(state, resolveFailure(state, failure));
 
 const computeBackoff = (resumes: number): Millis =>
@@ -130,10 +131,10 @@
   const since = state.trouble?.since ?? now;
   const resumes = state.trouble?.resumes ?? 0;
   if (now - since >= RESUME_TIMEOUT_MS) {
-    const text = `no progress at endpoint ${state.source.endpoint} for ${(now - since).toFixed(0)} ms`;
-    return failGeneration(state, createFailure('may-have-run', 'endpoint-lost', text));
+    const message = `no progress at endpoint ${state.source.endpoint} for ${(now - since).toFixed(0)} ms`;
+    return failGeneration(state, createFailure('may-have-run', 'endpoint-lost', message));
   }
-  if (resumes === 0) return resumeAt(state, { since, resumes: 1 });
+  if (resumes === 0) return resumeLink(state, { since, resumes: 1 });
   return toStep<DeliveryState, DeliveryEffect>(
     { ...state, phase: 'waiting', trouble: { since, resumes } },
     {
@@ -158,7 +159,7 @@
   );
 };
 
-const takeChunks = (
+const receiveChunks = (
   state: AttachedState,
   event: Extract<DeliveryEvent, { readonly kind: 'chunks' }>,
 ): DeliveryStep => {
@@ -168,12 +169,12 @@
   const fresh = event.chunks.slice(state.next - event.firstNumber);
   if (fresh.length === 0) return toStep(state);
   const next = state.next + fresh.length;
-  const taken = { ...state, next, trouble: null };
+  const received = { ...state, next, trouble: null };
   if (state.delivery === 'whole') {
-    return toStep({ ...taken, held: { batch: fresh, earlier: state.held } });
+    return toStep({ ...received, held: { batch: fresh, earlier: state.held } });
   }
   return toStep<DeliveryState, DeliveryEffect>(
-    { ...taken, shown: next },
+    { ...received, written: next },
     { kind: 'write-chunks', source: state.source, fromNumber: state.next, chunks: fresh },
   );
 };
@@ -187,76 +188,76 @@
     return event.link === state.link ? handleLinkLoss(state, event.now) : toStep(state);
   }
   if (chunkCount < state.next) {
-    const text = `it ended at ${chunkCount.toString()} chunks after ${state.next.toString()} were received`;
-    return failGeneration(state, createFailure('ran', 'endpoint-failed', text));
+    const message = `it ended at ${chunkCount.toString()} chunks after ${state.next.toString()} were received`;
+    return failGeneration(state, createFailure('ran', 'endpoint-failed', message));
   }
   const held = listHeld(state.held);
   const writes: readonly DeliveryEffect[] =
     held.length === 0
       ? []
-      : [{ kind: 'write-chunks', source: state.source, fromNumber: state.shown, chunks: held }];
-  const ended = { ...state, shown: state.next };
+      : [{ kind: 'write-chunks', source: state.source, fromNumber: state.written, chunks: held }];
+  const ended = { ...state, written: state.next };
   return closeWith(ended, ...writes, { kind: 'finish', chunkCount, usage });
 };
 
-const failAfterRetries = (state: DeliveryState, failure: Failure): DeliveryStep => {
+const handleGaveUp = (state: DeliveryState, failure: Failure): DeliveryStep => {
   if (state.phase !== 'idle') return toStep(state);
   const verdict = mergeVerdicts(state.verdict, failure.verdict);
   return closeWith(state, { kind: 'fail', failure: { ...failure, verdict } });
 };
 
-/** A shown stream stays resumable from its ticket; anything else has no reader left. */
-const releaseCaller = (state: DeliveryState): DeliveryStep => {
+/** Detaches a stream that its ticket can resume; any other has no reader left and is cancelled. */
+const handleCallerGone = (state: DeliveryState): DeliveryStep => {
   if (!isAttached(state)) return closeWith(state);
   const kind = isRestartable(state) ? 'cancel-generation' : 'detach';
   return closeWith(state, { kind, source: state.source });
 };
 
-const releaseToPeer = (state: DeliveryState): DeliveryStep => {
+const handleDrainEnd = (state: DeliveryState): DeliveryStep => {
   if (!isAttached(state) || state.delivery === 'whole') return toStep(state);
-  const { source, shown } = state;
+  const { source, written } = state;
   return closeWith(
     state,
-    { kind: 'hand-over', source, fromNumber: shown },
+    { kind: 'hand-over', source, fromNumber: written },
     { kind: 'detach', source },
   );
 };
 
-const openLink = (state: AttachedState): DeliveryStep =>
+const handleLinkOpened = (state: AttachedState): DeliveryStep =>
   toStep({
     ...state,
     trouble: state.trouble === null ? null : { ...state.trouble, since: null },
   });
 
-const failEndpoint = (
+const handleEndpointGone = (
   state: DeliveryState,
   event: Extract<DeliveryEvent, { readonly kind: 'endpoint-gone' }>,
 ): DeliveryStep => {
   if (!isAttached(state)) return toStep(state);
   const { endpoint, incarnation } = state.source;
   if (endpoint !== event.endpoint || incarnation !== event.incarnation) return toStep(state);
-  const text = `endpoint ${endpoint} is gone`;
-  return failGeneration(state, createFailure('may-have-run', 'endpoint-lost', text));
+  const message = `endpoint ${endpoint} is gone`;
+  return failGeneration(state, createFailure('may-have-run', 'endpoint-lost', message));
 };
 
 /**
- * Decides one event of a caller's stream. Each chunk number is written once and in order, from a
- * single generation; late, repeated and crossed answers change nothing.
+ * Handles one event of a caller's stream. Each chunk number is written once and in order, from a
+ * single generation; late, repeated and misdirected answers are ignored.
  *
  * @param state - stream before the event
- * @param event - what happened, with the link it came from
- * @returns the next state and what to write, resume, restart or cancel
+ * @param event - event, with the link on which it arrived
+ * @returns the next state and the writes, resumes, restarts and cancellations to carry out
  */
 export const decideDelivery = (state: DeliveryState, event: DeliveryEvent): DeliveryStep => {
   switch (event.kind) {
     case 'attempt-started':
       return startAttempt(state, event.source);
     case 'link-opened':
-      return isCurrentLink(state, event) ? openLink(state) : toStep(state);
+      return isCurrentLink(state, event) ? handleLinkOpened(state) : toStep(state);
     case 'chunks':
-      return isGeneration(state, event) ? takeChunks(state, event) : toStep(state);
+      return isCurrentGeneration(state, event) ? receiveChunks(state, event) : toStep(state);
     case 'finished':
-      return isGeneration(state, event) ? finishDelivery(state, event) : toStep(state);
+      return isCurrentGeneration(state, event) ? finishDelivery(state, event) : toStep(state);
     case 'failed':
       return isCurrentLink(state, event) ? failLink(state, event.failure) : toStep(state);
     case 'link-lost':
@@ -264,19 +265,19 @@
       return isCurrentLink(state, event) ? handleLinkLoss(state, event.now) : toStep(state);
     case 'resume-timer':
       return isCurrentLink(state, event) && state.phase === 'waiting'
-        ? resumeAt(state, {
+        ? resumeLink(state, {
             since: state.trouble?.since ?? event.now,
             resumes: (state.trouble?.resumes ?? 0) + 1,
           })
         : toStep(state);
     case 'endpoint-gone':
-      return failEndpoint(state, event);
+      return handleEndpointGone(state, event);
     case 'gave-up':
-      return failAfterRetries(state, event.failure);
+      return handleGaveUp(state, event.failure);
     case 'drain-ended':
-      return releaseToPeer(state);
+      return handleDrainEnd(state);
     case 'caller-gone':
-      return releaseCaller(state);
+      return handleCallerGone(state);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/streams/faultyStreams.fixture.ts
+++ b/packages/decisions/streams/faultyStreams.fixture.ts
@@ -13,7 +13,10 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Verdict } from '../../core/verdict.js';
 
-/** Faults and progress of the simulated system; `pick` selects an object modulo their number. */
+/**
+ * Progress or fault of the simulated system. `cross` delivers a message to another caller, and
+ * `cut` breaks a link. `pick` selects an object modulo their number, or the time for `advance`.
+ */
 export interface SimulationAction {
   readonly kind:
     | 'produce'
@@ -43,14 +46,14 @@
   stream: string;
   state: DeliveryState;
   attempts: number;
-  readonly seen: string[];
+  readonly received: string[];
   end: 'open' | 'finished' | 'failed';
   usage: string;
   violation: string | null;
-  /** Verdict of the failure that the caller was told. */
-  told: Verdict | null;
-  /** Generations that were asked for on behalf of the caller's request. */
-  asked: string[];
+  /** Verdict of the failure that the caller received. */
+  reportedVerdict: Verdict | null;
+  /** Generations that were requested for the caller's request. */
+  requestedGenerations: string[];
 }
 
 interface EndpointMessage {
@@ -73,15 +76,16 @@
   orphans: 'cancelled',
 } as const;
 
-const getTotal = (serial: number): number => 1 + ((serial * 7) % 19);
+const computeChunkCount = (number: number): number => 1 + ((number * 7) % 19);
 
 /**
  * Runs callers, entry daemons, endpoint daemons and faulty links against each other.
  *
  * @param deliveries - one caller for each delivery mode given
- * @param actions - faults and progress, then the system runs on without faults until all ended
+ * @param actions - faults and progress; afterwards the system runs without faults until all streams
+ *   have ended
  * @param decide - decision under test, or a variant without one of its checks
- * @returns the violations that the oracle found
+ * @returns the violations that were found
  */
 export const runFaultyStreams = (
   deliveries: readonly DeliveryMode[],
@@ -89,7 +93,7 @@
   decide: DecideDelivery = decideDelivery,
 ): readonly string[] => {
   let now = 0;
-  let serial = 0;
+  let lastNumber = 0;
   const incarnations = Array.from({ length: ENDPOINTS }, () => 0);
   const generations = new Map<string, Generation>();
   const totals = new Map<string, number>();
@@ -141,7 +145,7 @@
       return;
     }
     if (event.kind !== 'reader-opened') return;
-    // A start that arrives after the refusal must not run.
+    // A start that arrives after the refusal of a resume must not run.
     refusedStarts.add(generationId);
     const failure = createFailure('not-run', 'stale-incarnation', 'unknown generation');
     sendToCaller(generationId, { ...event, kind: 'send-failed', failure });
@@ -151,16 +155,16 @@
     post({ to: 'endpoint', source, mode: 'running', event });
 
   const startAttempt = (caller: Caller): void => {
-    serial += 1;
+    lastNumber += 1;
     caller.attempts += 1;
-    const endpoint = serial % ENDPOINTS;
+    const endpoint = lastNumber % ENDPOINTS;
     const source = {
-      generationId: `g${serial.toString()}`,
+      generationId: `g${lastNumber.toString()}`,
       endpoint: endpoint.toString(),
       incarnation: (incarnations[endpoint] ?? 0).toString(),
     };
-    totals.set(source.generationId, getTotal(serial));
-    caller.asked.push(source.generationId);
+    totals.set(source.generationId, computeChunkCount(lastNumber));
+    caller.requestedGenerations.push(source.generationId);
     stepCaller(caller, { kind: 'attempt-started', source });
     const { stream } = caller;
     const event = { kind: 'reader-opened', stream, link: 0, fromNumber: 0, now } as const;
@@ -169,17 +173,17 @@
 
   const moveCaller = (caller: Caller): void => {
     const { source } = caller.state;
-    serial += 1;
-    caller.stream = `s${serial.toString()}`;
-    if (caller.seen.length === 0 || source === null || caller.delivery === 'whole') {
+    lastNumber += 1;
+    caller.stream = `s${lastNumber.toString()}`;
+    if (caller.received.length === 0 || source === null || caller.delivery === 'whole') {
       caller.state = initDelivery(caller.delivery);
-      // Another entry daemon counts its own attempts, and knows of no generation before.
+      // Another entry daemon counts its own attempts and does not know the earlier generations.
       caller.attempts = 0;
-      caller.asked = [];
+      caller.requestedGenerations = [];
       startAttempt(caller);
       return;
     }
-    const step = resumeDelivery(source, caller.seen.length);
+    const step = resumeDelivery(source, caller.received.length);
     caller.state = step.state;
     applyEffects(caller, step.effects);
   };
@@ -187,8 +191,8 @@
   const applyEffect = (caller: Caller, effect: DeliveryEffect): void => {
     switch (effect.kind) {
       case 'write-chunks':
-        if (effect.fromNumber !== caller.seen.length) caller.violation = 'wrong chunk number';
-        caller.seen.push(...effect.chunks);
+        if (effect.fromNumber !== caller.received.length) caller.violation = 'wrong chunk number';
+        caller.received.push(...effect.chunks);
         return;
       case 'finish':
         caller.end = 'finished';
@@ -196,7 +200,7 @@
         return;
       case 'fail':
         caller.end = 'failed';
-        caller.told = effect.failure.verdict;
+        caller.reportedVerdict = effect.failure.verdict;
         return;
       case 'resume':
         sendToBuffer(effect.source, {
@@ -279,7 +283,7 @@
     for (const generation of generations.values()) stepBuffer(generation, { kind: 'tick', now });
   };
 
-  const stallLink = (caller: Caller, kind: 'link-lost' | 'link-stalled'): void => {
+  const failLink = (caller: Caller, kind: 'link-lost' | 'link-stalled'): void => {
     const { source, link } = caller.state;
     if (source === null) return;
     stepCaller(caller, { kind, generationId: source.generationId, link, now });
@@ -319,7 +323,7 @@
         advance(pick % 3_000);
         return;
       case 'cut':
-        if (caller !== undefined) stallLink(caller, 'link-lost');
+        if (caller !== undefined) failLink(caller, 'link-lost');
         return;
       case 'drain-entry':
         if (caller !== undefined) stepCaller(caller, { kind: 'drain-ended' });
@@ -338,12 +342,12 @@
     stream: `c${index.toString()}`,
     state: initDelivery(delivery),
     attempts: 0,
-    seen: [],
+    received: [],
     end: 'open',
     usage: '',
     violation: null,
-    told: null,
-    asked: [],
+    reportedVerdict: null,
+    requestedGenerations: [],
   }));
 
   const runWithoutFaults = (): void => {
@@ -352,30 +356,33 @@
       for (const generation of generations.values()) produce(generation);
       for (const message of messages.splice(0)) deliverMessage(message);
       advance(200);
-      if (round % 8 === 7) for (const caller of callers) stallLink(caller, 'link-stalled');
+      if (round % 8 === 7) for (const caller of callers) failLink(caller, 'link-stalled');
     }
   };
 
   const checkCaller = (caller: Caller): string | null => {
-    const generationId = caller.seen[0]?.split(':')[0] ?? caller.usage.split(':')[1] ?? '';
-    const isPrefix = caller.seen.every((chunk, at) => chunk === `${generationId}:${at.toString()}`);
-    if (!isPrefix) return `not a prefix of one generation: ${caller.seen.join(' ')}`;
+    const generationId = caller.received[0]?.split(':')[0] ?? caller.usage.split(':')[1] ?? '';
+    const isPrefix = caller.received.every(
+      (chunk, at) => chunk === `${generationId}:${at.toString()}`,
+    );
+    if (!isPrefix) return `not a prefix of one generation: ${caller.received.join(' ')}`;
     if (caller.violation !== null) return caller.violation;
     if (caller.end === 'open') return 'the stream never ended';
-    const hasRun = caller.asked.some((asked) => generations.has(asked));
-    if (caller.told === 'not-run' && hasRun) return 'told not-run and ran';
+    const hasRun = caller.requestedGenerations.some((id) => generations.has(id));
+    if (caller.reportedVerdict === 'not-run' && hasRun) return 'reported as not-run but ran';
     if (caller.end === 'failed') return null;
     const isWhole =
-      caller.seen.length === totals.get(generationId) && caller.usage === `usage:${generationId}`;
+      caller.received.length === totals.get(generationId) &&
+      caller.usage === `usage:${generationId}`;
     return isWhole
       ? null
-      : `ended after ${caller.seen.length.toString()} chunks of ${generationId}`;
+      : `ended after ${caller.received.length.toString()} chunks of ${generationId}`;
   };
 
   for (const caller of callers) startAttempt(caller);
   for (const action of actions) runAction(action);
   runWithoutFaults();
-  // A request that is still on its way may start after its caller was told the end.
+  // A start request that is still in flight may arrive after its caller received the end.
   for (const message of messages.splice(0)) deliverMessage(message);
   return callers.map(checkCaller).filter((violation) => violation !== null);
 };
--- a/packages/decisions/streams/streamProperties.fixture.ts
+++ b/packages/decisions/streams/streamProperties.fixture.ts
@@ -12,7 +12,7 @@
   pick: fc.nat({ max: 10_000 }),
 });
 
-/** Faults of links and deaths of daemons of both kinds. */
+/** Progress, link faults, drains of entry daemons, and kills of entry and endpoint daemons. */
 export const anyStreamActions = fc.array(anyStreamAction, { maxLength: 160, size: 'max' });
 
 const anyAnswerAction: fc.Arbitrary<SimulationAction> = fc.record({
@@ -26,7 +26,7 @@
 const anyAnswerActions = fc.array(anyAnswerAction, { maxLength: 120, size: 'max' });
 
 /**
- * Builds the property of P1: each token is shown once, in order, from one generation.
+ * Builds the property of P1: each token is delivered once, in order, from one generation.
  *
  * @param decide - decision under test
  * @returns a fast-check property
@@ -35,7 +35,7 @@
   buildStreamProperty(['incremental', 'incremental'], anyStreamActions, decide);
 
 /**
- * Builds the property of P5: an answer that ended is the whole answer of its own generation.
+ * Builds the property of P5: a finished answer is the complete answer of its own generation.
  *
  * @param decide - decision under test
  * @returns a fast-check property
@@ -43,7 +43,7 @@
 export const buildAnswersProperty = (decide: DecideDelivery) =>
   buildStreamProperty(['whole', 'incremental', 'whole'], anyAnswerActions, decide);
 
-/** Variant that takes every answer for one of its own generation. */
+/** Variant that does not check to which generation an answer belongs. */
 export const decideWithoutGenerations: DecideDelivery = (state, event) =>
   decideDelivery(
     state,
--- a/packages/decisions/streams/types.ts
+++ b/packages/decisions/streams/types.ts
@@ -2,50 +2,50 @@
 import type { EndpointId, GenerationId, Incarnation } from '../../core/ids.js';
 import type { Failure, Verdict } from '../../core/verdict.js';
 
-/** JSON of the engine's choices list, opaque to the stream. */
+/** JSON of the engine's `choices` list, which the stream does not interpret. */
 export type Chunk = string;
 
-/** Whether chunks are shown as they arrive, or only together at the end. */
+/** Whether chunks are written to the caller as they arrive, or all together at the end. */
 export type DeliveryMode = 'incremental' | 'whole';
 
-/** The one place that can continue a generation. */
+/** The only endpoint incarnation that can continue a generation. */
 export interface GenerationSource {
   readonly generationId: GenerationId;
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
 }
 
-/** `waiting`: the link is lost and the next resume is scheduled. */
+/** Phase of a stream; `waiting` means that the link is lost and the next resume is scheduled. */
 export type DeliveryPhase = 'idle' | 'receiving' | 'waiting' | 'ended';
 
-/** Chunks received and not yet shown, newest batch first, so that adding one batch is O(1). */
+/** Received chunks not yet written, newest batch first, so that adding a batch is O(1). */
 export interface HeldChunks {
   readonly batch: readonly Chunk[];
   readonly earlier: HeldChunks | null;
 }
 
-/** Time without progress, and the resumes in a row that brought none. */
-export interface LinkTrouble {
+/** Start of an outage, null once a link opened, and the consecutive resumes without a chunk. */
+export interface LinkOutage {
   readonly since: Millis | null;
   readonly resumes: number;
 }
 
-/** One caller's stream at an entry daemon. */
+/** State of one caller's stream at an entry daemon. */
 export interface DeliveryState {
   readonly delivery: DeliveryMode;
-  /** A stream resumed from a ticket belongs to its generation for good. */
+  /** A stream that was resumed from a ticket cannot restart with another generation. */
   readonly origin: 'fresh' | 'resumed';
   readonly phase: DeliveryPhase;
   readonly source: GenerationSource | null;
-  /** Number of the link to the source, from 0; tells late events of an earlier link apart. */
+  /** Number of the link to the source, from 0; it identifies late events of an earlier link. */
   readonly link: number;
   /** Next chunk number expected from the generation. */
   readonly next: number;
-  /** Next chunk number to show. */
-  readonly shown: number;
+  /** Next chunk number to write to the caller. */
+  readonly written: number;
   readonly held: HeldChunks | null;
-  readonly trouble: LinkTrouble | null;
-  /** What is known of all earlier attempts together. */
+  readonly trouble: LinkOutage | null;
+  /** Merged verdict of all earlier attempts. */
   readonly verdict: Verdict;
 }
 
@@ -55,7 +55,7 @@
   readonly link: number;
 }
 
-/** What happens to a caller's stream. */
+/** Events of a caller's stream. */
 export type DeliveryEvent =
   | { readonly kind: 'attempt-started'; readonly source: GenerationSource }
   | ({ readonly kind: 'link-opened' } & LinkIdentity)
@@ -84,7 +84,7 @@
   | { readonly kind: 'drain-ended' }
   | { readonly kind: 'caller-gone' };
 
-/** What the entry daemon writes to the caller or asks of an endpoint daemon. */
+/** Writes to the caller, requests to an endpoint daemon, and timers. */
 export type DeliveryEffect =
   | {
       readonly kind: 'write-chunks';
@@ -102,8 +102,8 @@
     }
   | ({ readonly kind: 'schedule-resume'; readonly delayMs: Millis } & LinkIdentity)
   | { readonly kind: 'restart-allowed'; readonly failure: Failure }
-  /** The caller goes on at another entry daemon from the ticket of this number. */
+  /** The caller resumes at another entry daemon with a ticket that starts at this number. */
   | { readonly kind: 'hand-over'; readonly source: GenerationSource; readonly fromNumber: number }
-  /** Closes the link and leaves the generation to a resume or to the orphan timeout. */
+  /** Closes the link; the generation runs until a resume or the orphan timeout. */
   | { readonly kind: 'detach'; readonly source: GenerationSource }
   | { readonly kind: 'cancel-generation'; readonly source: GenerationSource };
--- a/packages/decisions/streams/verdicts.ts
+++ b/packages/decisions/streams/verdicts.ts
@@ -5,23 +5,23 @@
 const VERDICT_RANK: Readonly<Record<Verdict, number>> = { 'not-run': 0, 'may-have-run': 1, ran: 2 };
 
 /**
- * Merges what two attempts of one request prove about its execution.
+ * Merges the verdicts of two attempts of one request.
  *
  * @param left - verdict of one attempt
  * @param right - verdict of the other
- * @returns `not-run` only when both attempts were not run
+ * @returns the stronger verdict; `not-run` only when neither attempt has run
  */
 export const mergeVerdicts = (left: Verdict, right: Verdict): Verdict =>
   VERDICT_RANK[left] >= VERDICT_RANK[right] ? left : right;
 
 /**
- * Builds the failure of a generation of which the caller saw a part.
+ * Creates the failure of a generation that was lost after the caller had received a part of it.
  *
  * @param source - the lost generation
- * @param cause - sentence on what happened
+ * @param cause - description of what happened
  * @returns a `stream-lost` failure with the verdict `may-have-run`
  */
-export const createStreamLost = (source: GenerationSource, cause: string): Failure =>
+export const createStreamLostFailure = (source: GenerationSource, cause: string): Failure =>
   createFailure(
     'may-have-run',
     'stream-lost',
@@ -29,8 +29,8 @@
   );
 
 /**
- * Corrects the refusal of a resume. The generation that a resume ticket names has run, whatever
- * keeps this resume from being carried out, so a caller must not be told that its request was not.
+ * Corrects the verdict of a refused resume. The generation of a resume ticket has run, whatever the
+ * reason of the refusal, so the caller must not receive `not-run`.
  *
  * @param failure - why the resume is refused
  * @returns the failure, with `may-have-run` in place of `not-run`
