Reword the stream tests

"Crossed" messages are delivered to the wrong caller, a "cut" request is broken, and a simulation "too tame" passes without the mechanism under test. Titles and the comments above the tests say which failure they guard against.

--- a/packages/decisions/streams/buffer.test.ts
+++ b/packages/decisions/streams/buffer.test.ts
@@ -9,10 +9,10 @@
 
 const toReader = (stream: string, link = 0) => ({ stream, link });
 
-// Guards against a buffer that grows without bound, sends a wrong chunk under a number, skips one,
-// or ends before the reader has all of them.
+// Guards against a buffer that grows without bound, sends a chunk under a wrong number, skips one,
+// or sends the end before the last chunk.
 for (const orphans of ['cancelled', 'kept'] as const) {
-  test(`a buffer stays within its bounds and sends its chunks in order, orphans ${orphans}`, (t) => {
+  test(`a buffer stays within its limits and sends its chunks in order, orphans ${orphans}`, (t) => {
     fc.assert(buildBufferProperty(orphans), { seed: SEED, numRuns: RUNS });
     t.pass();
   });
@@ -35,8 +35,9 @@
   now: 0,
 });
 
-// Guards against two readers of one generation, and against a late resume of the older one.
-test('a newer reader replaces the older one for good', (t) => {
+// Guards against two active readers of one generation, and against a late resume of the older one
+// that replaces the newer.
+test('a newer reader replaces the older one permanently', (t) => {
   const step = run(open('a'), open('b'));
   t.like(step.effects[0], { kind: 'send-failed', stream: 'a', failure: { code: 'lost-race' } });
   const late = decideBuffer(step.state, open('a', 0, 1));
@@ -44,7 +45,8 @@
   t.is(late.state.reader?.stream, 'b');
 });
 
-// Guards against engine memory held for nobody, and against a buffer that is kept for ever.
+// Guards against engine memory in use for an orphaned generation, and against a buffer that is
+// never released.
 test('an orphan is cancelled at the engine and an ended generation is released', (t) => {
   const step = run(buildProduced(1), { kind: 'tick', now: 9_999 }, { kind: 'tick', now: 10_000 });
   t.deepEqual(step.effects, [{ kind: 'cancel-engine' }]);
@@ -57,9 +59,9 @@
   t.deepEqual(released.effects, [{ kind: 'release' }]);
 });
 
-// Guards against a generation under a key that is cancelled, or held back for ever, because its
-// caller left; the caller would then never get an answer.
-test('a kept generation without a reader runs on and keeps its newest chunks', (t) => {
+// Guards against a generation with an idempotency key that is cancelled, or stays paused, because
+// its caller disconnected; the caller could then never retrieve the answer.
+test('a kept generation without a reader keeps running and retains its newest chunks', (t) => {
   let state = initBuffer(0, { ...BUFFER_LIMITS, orphans: 'kept' });
   const apply = (event: BufferEvent): void => {
     const step = decideBuffer(state, event);
@@ -74,8 +76,8 @@
   t.is(state.phase, 'ended');
 });
 
-// Guards against a slow caller that ends a generation which must run only once.
-test('a slow reader leaves a kept generation running', (t) => {
+// Guards against cancelling a generation that must run only once because its caller is slow.
+test('a slow reader loses its stream while a kept generation keeps running', (t) => {
   const first = decideBuffer(initBuffer(0, { ...BUFFER_LIMITS, orphans: 'kept' }), open('a'));
   const step = decideBuffer(first.state, buildProduced(8));
   const slow = decideBuffer(step.state, { kind: 'tick', now: 15_000 });
@@ -87,8 +89,9 @@
   t.is(slow.state.reader, null);
 });
 
-// Guards against a resume that silently skips chunks, and a slow caller that fills the memory.
-test('a dropped number is refused and a slow reader pauses the engine, then loses the stream', (t) => {
+// Guards against a resume that silently skips chunks, and against a slow caller that exhausts the
+// memory.
+test('a resume at a dropped chunk is refused, and a slow reader pauses the engine, then loses the stream', (t) => {
   const took = { kind: 'reader-took', ...toReader('a'), nextNumber: 5, now: 0 } as const;
   const paused = run(open('a'), buildProduced(5), took, buildProduced(8));
   t.deepEqual(paused.effects.at(-1), { kind: 'pause-engine' });
--- a/packages/decisions/streams/delivery.test.ts
+++ b/packages/decisions/streams/delivery.test.ts
@@ -25,8 +25,8 @@
 const listKinds = (step: { readonly effects: readonly { readonly kind: string }[] }) =>
   step.effects.map((effect) => effect.kind);
 
-// Guards against a refusal that claims not-run after the first attempt may have started (P6).
-test('a refused resume or a refused second attempt does not prove that the first did not run', (t) => {
+// Guards against a failure with the verdict not-run after the first attempt may have started (P6).
+test('a refused resume or second attempt does not prove that the first attempt did not run', (t) => {
   const first = run('incremental', { kind: 'failed', ...toLink(0), failure: refusal });
   t.deepEqual(first.effects, [{ kind: 'restart-allowed', failure: refusal }]);
   const resumed = run('incremental', lost, { kind: 'failed', ...toLink(1), failure: refusal });
@@ -40,25 +40,25 @@
   t.like(last.effects[0], { kind: 'fail', failure: { verdict: 'may-have-run' } });
 });
 
-// Guards against two generations spliced into one answer.
-test('a lost generation of which a part was shown fails as stream-lost', (t) => {
+// Guards against an answer that combines chunks of two generations.
+test('a generation that is lost after its first chunk was written fails as stream-lost', (t) => {
   const gone = { kind: 'endpoint-gone', endpoint: 'e1', incarnation: 'i1' } as const;
-  const shown = run('incremental', buildChunks(0, 'a'), gone);
-  t.like(shown.effects[1], {
+  const written = run('incremental', buildChunks(0, 'a'), gone);
+  t.like(written.effects[1], {
     kind: 'fail',
     failure: { code: 'stream-lost', verdict: 'may-have-run' },
   });
-  const splice = decideDelivery(run('incremental', buildChunks(0, 'a')).state, {
+  const second = decideDelivery(run('incremental', buildChunks(0, 'a')).state, {
     kind: 'attempt-started',
     source: { ...source, generationId: 'g2' },
   });
-  t.deepEqual(listKinds(splice), ['cancel-generation']);
+  t.deepEqual(listKinds(second), ['cancel-generation']);
   const whole = run('whole', buildChunks(0, 'a'), gone);
   t.deepEqual(listKinds(whole), ['cancel-generation', 'restart-allowed']);
 });
 
-// Guards against an endless hot loop of resumes, and against one that never ends.
-test('resumes back off and end with the endpoint counted as lost', (t) => {
+// Guards against resumes in a tight loop, and against resumes that never end.
+test('resumes back off exponentially until the endpoint counts as lost', (t) => {
   let step = run('incremental', buildChunks(0, 'a'), lost);
   t.deepEqual(step.effects, [{ kind: 'resume', source, fromNumber: 1, link: 1 }]);
   const delays: number[] = [];
@@ -76,8 +76,8 @@
   t.is(step.state.phase, 'ended');
 });
 
-// Guards against a caller that leaves and takes its resumable generation with it.
-test('a gone caller detaches from a shown stream and cancels any other', (t) => {
+// Guards against cancelling a resumable generation because its caller disconnected.
+test('a caller that disconnects detaches from a stream it can resume and cancels any other', (t) => {
   const gone = { kind: 'caller-gone' } as const;
   t.deepEqual(listKinds(run('incremental', buildChunks(0, 'a'), gone)), ['detach']);
   t.deepEqual(listKinds(run('incremental', gone)), ['cancel-generation']);
--- a/packages/decisions/streams/gracefulShutdown.promise.test.ts
+++ b/packages/decisions/streams/gracefulShutdown.promise.test.ts
@@ -8,19 +8,20 @@
 const SEED = 909;
 const RUNS = 1_500;
 
-// Guards against a shutdown of an entry daemon that cuts off a stream or a whole answer (P9), when
-// its links lose, repeat, reorder and cut messages and other entry daemons die at the same time.
-test('P9: every request of an entry daemon that shuts down ends whole', (t) => {
+// Guards against a shutdown of an entry daemon that breaks a stream or a whole answer (P9) while
+// its links are cut, lose, repeat, reorder and misdirect messages, and other entry daemons are
+// killed.
+test('P9: every request of an entry daemon that shuts down is answered completely', (t) => {
   fc.assert(buildShutdownProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
 const buildDrainVariant =
-  (replace: (effect: DeliveryEffect) => readonly DeliveryEffect[]): DecideDelivery =>
+  (replaceEffect: (effect: DeliveryEffect) => readonly DeliveryEffect[]): DecideDelivery =>
   (state, event) => {
     const step = decideDelivery(state, event);
     if (event.kind !== 'drain-ended') return step;
-    return { ...step, effects: step.effects.flatMap(replace) };
+    return { ...step, effects: step.effects.flatMap(replaceEffect) };
   };
 
 /** Closes the connection without a ticket for the caller. */
@@ -28,13 +29,13 @@
   effect.kind === 'hand-over' ? [] : [effect],
 );
 
-/** Ends the generation together with the connection. */
+/** Cancels the generation when the connection closes. */
 const decideWithCancel = buildDrainVariant((effect) =>
   effect.kind === 'detach' ? [{ kind: 'cancel-generation', source: effect.source }] : [effect],
 );
 
-// Guards against a simulation too tame to need the mechanism.
-test('P9: the simulation finds a cut request without the ticket, or with a cancel', (t) => {
+// Guards against a simulation that passes without the mechanism under test.
+test('P9: the simulation finds a broken request without the ticket, or with a cancellation', (t) => {
   const withoutTicket = fc.check(buildShutdownProperty(decideWithoutTicket), {
     seed: SEED,
     numRuns: RUNS,
--- a/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
+++ b/packages/decisions/streams/tokensOnceInOrder.promise.test.ts
@@ -15,15 +15,16 @@
 const decideWithoutNumbers: DecideDelivery = (state, event) =>
   decideDelivery(state, event.kind === 'chunks' ? { ...event, firstNumber: state.next } : event);
 
-// Guards against tokens that a caller sees twice, out of order, or from two generations (P1), when
-// links lose, delay, repeat, reorder and cross messages and daemons of both kinds die.
-test('P1: every token is shown once, in order, from a single generation', (t) => {
+// Guards against tokens that a caller receives twice, out of order, or from two generations (P1)
+// while links lose, delay, repeat, reorder and misdirect messages and daemons of both kinds are
+// killed.
+test('P1: every token is delivered once, in order, from a single generation', (t) => {
   fc.assert(buildTokensProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
-// Guards against a simulation too tame to need the mechanism.
-test('P1: the simulation breaks a stream without the check of numbers or of generations', (t) => {
+// Guards against a simulation that passes without the mechanism under test.
+test('P1: the simulation finds a violation without the check of chunk numbers or of generations', (t) => {
   for (const variant of [decideWithoutNumbers, decideWithoutGenerations]) {
     const result = fc.check(buildTokensProperty(variant), { seed: SEED, numRuns: RUNS });
     t.regex(String(result.errorInstance), /not a prefix of one generation/);
@@ -40,9 +41,9 @@
   return step;
 };
 
-// Guards against a stream that is given up although its generation still exists: entry daemons
-// die and links fail, but no endpoint daemon does and no timer runs out.
-test('a stream survives every fault but the loss of its endpoint', (t) => {
+// Guards against a stream that is abandoned although its generation still exists: entry daemons are
+// killed and links fail, but no endpoint daemon is killed and no timer expires.
+test('a stream survives every fault except the loss of its endpoint', (t) => {
   const isSurvivable = ({ kind }: SimulationAction) =>
     kind !== 'kill-endpoint' && kind !== 'advance';
   const property = fc.property(anyStreamActions, (actions) => {
