Name the prompt tokens that wait at an engine alike

The cost of waiting prompt tokens had another name than the load's `waitingTokens`, and a parameter of the resume shadowed the name of the property that it sets. The estimate of a generation's memory now says that it is the peak.

--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeForward.test.ts
@@ -90,7 +90,7 @@
 });
 
 // Guards against prompts that queue up at an engine that has just started and whose memory is free.
-test('pending prompts weigh more than memory in use', (t) => {
+test('waiting prompts weigh more than memory in use', (t) => {
   const candidates = [
     buildCandidate(buildEndpoint('e-1'), {
       load: { requests: 2, tokens: 2_600, waitingTokens: 2_600 },
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -11,7 +11,7 @@
   readonly requests: number;
   /** Engine memory of running generations and of backups for other endpoints, in tokens. */
   readonly tokens: number;
-  /** Tokens of prompts that are not processed yet and delay a new one. */
+  /** Tokens of prompts that wait to be processed and delay a new one. */
   readonly waitingTokens: number;
 }
 
@@ -51,7 +51,7 @@
 const OVERFLOW_COST = 10;
 
 /** Cost of prompt tokens that wait to be processed, relative to memory in use. */
-const PENDING_PROMPT_COST = 3;
+const WAITING_TOKEN_COST = 3;
 
 /** Share of an engine's memory that may be in use with a new backup of the shortest generations. */
 const MIN_BACKUP_MEMORY_SHARE = 0.35;
@@ -82,7 +82,7 @@
   Math.min(demand.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS, demand.maxOutputTokens);
 
 /**
- * Estimates the engine memory that a generation uses at its end.
+ * Estimates the peak engine memory of a generation, which it reaches at its end.
  *
  * @param demand - prompt, and estimate and limit of the output
  * @returns prompt and output tokens
@@ -121,7 +121,7 @@
   const utilization = Math.max(memoryShare, slotShare);
   // An engine over its capacity preempts running generations, which costs more than any queueing.
   const overflow = utilization > 1 ? (utilization - 1) * OVERFLOW_COST : 0;
-  const waiting = (load.waitingTokens * PENDING_PROMPT_COST) / memory;
+  const waiting = (load.waitingTokens * WAITING_TOKEN_COST) / memory;
   return slotShare + memoryShare + waiting + overflow + excessRate * FAILURE_COST;
 };
 
--- a/packages/decisions/streams/delivery.ts
+++ b/packages/decisions/streams/delivery.ts
@@ -105,10 +105,10 @@
   );
 };
 
-const resumeLink = (state: AttachedState, outage: DeliveryState['trouble']): DeliveryStep => {
+const resumeLink = (state: AttachedState, nextOutage: DeliveryState['trouble']): DeliveryStep => {
   const link = state.link + 1;
   return toStep<DeliveryState, DeliveryEffect>(
-    { ...state, phase: 'receiving', link, trouble: outage },
+    { ...state, phase: 'receiving', link, trouble: nextOutage },
     { kind: 'resume', source: state.source, fromNumber: state.next, link },
   );
 };
