Say from when an endpoint counts as cold

`coldForMs` had no comment; the gateway counts it from the receipt of the record. The comment on the shutdown test listed its link faults in one broken enumeration.

--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -102,6 +102,7 @@
   readonly version: string;
   readonly slots: number;
   readonly phase: 'ready' | 'leaving';
+  /** Time from the receipt of the record during which the endpoint counts as cold; 0 when warm. */
   readonly coldForMs: Millis;
   /** Start time by the endpoint's own clock; it distinguishes two incarnations under one id. */
   readonly startedAt: Millis | null;
--- a/packages/decisions/streams/gracefulShutdown.promise.test.ts
+++ b/packages/decisions/streams/gracefulShutdown.promise.test.ts
@@ -9,7 +9,7 @@
 const RUNS = 1_500;
 
 // Guards against a shutdown of an entry daemon that breaks a stream or a whole answer (P9) while
-// its links are cut, lose, repeat, reorder and misdirect messages, and other entry daemons are
+// its links break or lose, repeat, reorder and misdirect messages, and other entry daemons are
 // killed.
 test('P9: every request of an entry daemon that shuts down is answered completely', (t) => {
   fc.assert(buildShutdownProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
