--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -35,4 +35,4 @@
 export const OVERLOAD_BACKOFF_MS = 40;
 
 /** Weight of an output token, relative to a prompt token, in a generation's transfer priority. */
-export const OUTPUT_TOKEN_WORTH = 10;
+export const OUTPUT_TOKEN_WEIGHT = 10;
--- a/packages/decisions/forwarding/endpointHealth.ts
+++ b/packages/decisions/forwarding/endpointHealth.ts
@@ -8,7 +8,7 @@
 import type { Millis } from '../../core/clock.js';
 
 /** What the end of an attempt shows about the health of its endpoint. */
-export type AttemptSign =
+export type AttemptObservation =
   | { readonly kind: 'answered'; readonly durationMs: Millis }
   /** The endpoint refused the request for lack of capacity. */
   | { readonly kind: 'full' }
@@ -65,7 +65,7 @@
  */
 export const observeAttempt = (
   health: EndpointHealth,
-  observation: AttemptSign,
+  observation: AttemptObservation,
   now: Millis,
 ): EndpointHealth => {
   switch (observation.kind) {
--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -137,6 +137,6 @@
   record,
   health: NEW_ENDPOINT_HEALTH,
   load: { requests: 0, tokens: 0, waitingTokens: 0 },
-  coldRoom: null,
+  coldHeadroom: null,
   ...change,
 });
--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeForward.test.ts
@@ -8,13 +8,13 @@
 } from './forwarding.fixture.js';
 import { computeFailureRate, NEW_ENDPOINT_HEALTH, observeAttempt } from './endpointHealth.js';
 import type { EndpointHealth } from './endpointHealth.js';
-import { placeBackup, placeForward, placeTransfer } from './placeForward.js';
-import type { PlacementQuestion } from './placeForward.js';
+import { placeBackup, placeAttempt, placeTransfer } from './placeForward.js';
+import type { PlacementCriteria } from './placeForward.js';
 import { createRandomSource } from '../../core/random.js';
 
 const random = createRandomSource(5);
 
-const CRITERIA: PlacementQuestion = {
+const CRITERIA: PlacementCriteria = {
   service: ENGINE_SERVICE,
   demand: DEMAND,
   targetMs: 1_800,
@@ -22,7 +22,7 @@
   now: 10_000,
 };
 
-const PLAIN_CRITERIA: PlacementQuestion = {
+const PLAIN_CRITERIA: PlacementCriteria = {
   ...CRITERIA,
   service: PLAIN_SERVICE,
   demand: null,
@@ -50,7 +50,7 @@
     buildCandidate(buildEndpoint('e-1', { phase: 'leaving' })),
     buildCandidate(buildEndpoint('e-2'), { health: unreachable }),
   ];
-  t.is(placeForward(candidates, CRITERIA, random), null);
+  t.is(placeAttempt(candidates, CRITERIA, random), null);
 });
 
 // Guards against a retry at the endpoint that has just failed while others are available.
@@ -59,7 +59,7 @@
     buildCandidate(buildPlain('e-1')),
     buildCandidate(buildPlain('e-2'), { load: { requests: 7, tokens: 0, waitingTokens: 0 } }),
   ];
-  const chosen = placeForward(candidates, { ...PLAIN_CRITERIA, tried: new Set(['e-1']) }, random);
+  const chosen = placeAttempt(candidates, { ...PLAIN_CRITERIA, tried: new Set(['e-1']) }, random);
   t.is(chosen?.record.id, 'e-2');
 });
 
@@ -67,7 +67,7 @@
 test('failures common to all endpoints exclude none of them', (t) => {
   const health = buildHealth(30, 3);
   const candidates = ['e-1', 'e-2', 'e-3'].map((id) => buildCandidate(buildPlain(id), { health }));
-  t.not(placeForward(candidates, PLAIN_CRITERIA, random), null);
+  t.not(placeAttempt(candidates, PLAIN_CRITERIA, random), null);
 });
 
 // Guards against an endpoint that fails some of its requests and still receives its usual share.
@@ -79,7 +79,7 @@
       load: { requests: 4, tokens: 0, waitingTokens: 0 },
     }),
   ];
-  t.is(placeForward(candidates, PLAIN_CRITERIA, random)?.record.id, 'e-2');
+  t.is(placeAttempt(candidates, PLAIN_CRITERIA, random)?.record.id, 'e-2');
 });
 
 // Guards against an endpoint that receives no requests ever again after its failures.
@@ -99,13 +99,13 @@
       load: { requests: 3, tokens: 5_000, waitingTokens: 0 },
     }),
   ];
-  t.is(placeForward(candidates, CRITERIA, random)?.record.id, 'e-2');
+  t.is(placeAttempt(candidates, CRITERIA, random)?.record.id, 'e-2');
 });
 
 // Guards against more requests to a cold endpoint than its limit allows.
 test('a cold endpoint without headroom receives no requests', (t) => {
-  const cold = buildCandidate(buildEndpoint('e-1'), { coldRoom: 0 });
-  t.is(placeForward([cold], CRITERIA, random), null);
+  const cold = buildCandidate(buildEndpoint('e-1'), { coldHeadroom: 0 });
+  t.is(placeAttempt([cold], CRITERIA, random), null);
 });
 
 // Guards against a backup that is lost together with its generation, and one on an engine that is
--- a/packages/decisions/forwarding/placeForward.ts
+++ b/packages/decisions/forwarding/placeForward.ts
@@ -21,11 +21,11 @@
   readonly health: EndpointHealth;
   readonly load: EndpointLoad;
   /** Requests that this daemon may still send to a cold endpoint now; null when it is warm. */
-  readonly coldRoom: number | null;
+  readonly coldHeadroom: number | null;
 }
 
 /** Requirements and history of the request to be placed. */
-export interface PlacementQuestion {
+export interface PlacementCriteria {
   readonly service: Service;
   readonly demand: GenerationDemand | null;
   /** Latency target of the answer. */
@@ -87,12 +87,12 @@
  * @param demand - prompt, and estimate and limit of the output
  * @returns prompt and output tokens
  */
-export const estimateTokens = (demand: GenerationDemand): number =>
+export const estimatePeakTokens = (demand: GenerationDemand): number =>
   demand.promptTokens + estimateOutput(demand);
 
 const isUsable = (
-  { record, health, coldRoom: headroom }: Candidate,
-  criteria: PlacementQuestion,
+  { record, health, coldHeadroom: headroom }: Candidate,
+  criteria: PlacementCriteria,
 ): boolean =>
   record.service === criteria.service.name &&
   record.phase === 'ready' &&
@@ -102,7 +102,7 @@
 const computePlainScore = (
   { record, health, load }: Candidate,
   excessRate: number,
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
 ): number => {
   const answerMs = health.answerMs ?? DEFAULT_ANSWER_MS;
   const slotShare = load.requests / Math.max(1, record.slots);
@@ -112,10 +112,10 @@
 const computeEngineScore = (
   { record, load }: Candidate,
   excessRate: number,
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
 ): number => {
   const memory = criteria.service.engine?.memoryTokens ?? 1;
-  const demand = criteria.demand === null ? 0 : estimateTokens(criteria.demand);
+  const demand = criteria.demand === null ? 0 : estimatePeakTokens(criteria.demand);
   const memoryShare = (load.tokens + demand) / memory;
   const slotShare = (load.requests + 1) / Math.max(1, record.slots);
   const utilization = Math.max(memoryShare, slotShare);
@@ -128,7 +128,7 @@
 const computeScore = (
   candidate: Candidate,
   excessRate: number,
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
 ): number =>
   criteria.service.engine === null
     ? computePlainScore(candidate, excessRate, criteria)
@@ -136,7 +136,7 @@
 
 const chooseLowest = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   random: RandomSource,
 ): Candidate | null => {
   const rates = candidates.map(({ health }) => computeFailureRate(health, criteria.now));
@@ -163,7 +163,7 @@
  * @param criteria - requirements of the request
  * @returns true when its memory and slots suffice
  */
-export const hasRoom = ({ load, record }: Candidate, criteria: PlacementQuestion): boolean => {
+export const hasCapacity = ({ load, record }: Candidate, criteria: PlacementCriteria): boolean => {
   const { demand, service } = criteria;
   if (service.engine === null || demand === null) return true;
   const tokens = load.tokens + demand.promptTokens;
@@ -178,9 +178,9 @@
  * @param random - source of randomness
  * @returns the endpoint, or null when none can be used
  */
-export const placeForward = (
+export const placeAttempt = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   random: RandomSource,
 ): Candidate | null => {
   const usable = candidates.filter((candidate) => isUsable(candidate, criteria));
@@ -190,7 +190,7 @@
 
 const listBackupTargets = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   runner: EndpointRecord,
   memoryShare: number,
 ): readonly Candidate[] => {
@@ -207,14 +207,14 @@
 
 const computeUsedMemoryShare = (
   candidates: readonly Candidate[],
-  { service }: PlacementQuestion,
+  { service }: PlacementCriteria,
 ): number => {
   const memory = (service.engine?.memoryTokens ?? 0) * candidates.length;
   const used = candidates.reduce((sum, { load }) => sum + load.tokens, 0);
   return memory === 0 ? 1 : used / memory;
 };
 
-const computeBackupMemoryShare = ({ demand }: PlacementQuestion): number => {
+const computeBackupMemoryShare = ({ demand }: PlacementCriteria): number => {
   if (demand === null) return 0;
   const length = Math.min(1, estimateOutput(demand) / LONG_OUTPUT_TOKENS);
   return MIN_BACKUP_MEMORY_SHARE + LONG_OUTPUT_EXTRA_SHARE * length;
@@ -232,7 +232,7 @@
  */
 export const placeBackup = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   runner: EndpointRecord,
   random: RandomSource,
 ): Candidate | null => {
@@ -257,7 +257,7 @@
 /** Lists the targets with enough free memory, or all if none has: a full engine refuses at once. */
 const listTransferTargets = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   runner: EndpointRecord,
 ): readonly Candidate[] => {
   const { demand, service } = criteria;
@@ -282,7 +282,7 @@
  */
 export const placeTransfer = (
   candidates: readonly Candidate[],
-  criteria: PlacementQuestion,
+  criteria: PlacementCriteria,
   runner: EndpointRecord,
   random: RandomSource,
 ): Candidate | null => {
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -2,7 +2,7 @@
 import type { Millis } from '../../core/clock.js';
 
 /** Limit of the retries of one service that all daemons share. */
-export interface BudgetRule {
+export interface RetryBudgetSettings {
   /** Retries allowed for each request. */
   readonly ratio: number;
   /** Retries allowed in a window in addition to the ratio, over all daemons. */
@@ -29,7 +29,7 @@
  */
 export const createBudgetWindow = (): BudgetWindow => ({ buckets: [] });
 
-const findBucket = (window: BudgetWindow, settings: BudgetRule, now: Millis): Bucket => {
+const findBucket = (window: BudgetWindow, settings: RetryBudgetSettings, now: Millis): Bucket => {
   const number = Math.floor((now * BUDGET_BUCKETS) / settings.windowMs);
   while (window.buckets[0] !== undefined && window.buckets[0].number <= number - BUDGET_BUCKETS) {
     window.buckets.shift();
@@ -48,7 +48,11 @@
  * @param settings - limits of the budget
  * @param now - current instant
  */
-export const countRequest = (window: BudgetWindow, settings: BudgetRule, now: Millis): void => {
+export const countRequest = (
+  window: BudgetWindow,
+  settings: RetryBudgetSettings,
+  now: Millis,
+): void => {
   findBucket(window, settings, now).requests += 1;
 };
 
@@ -62,9 +66,9 @@
  * @param now - current instant
  * @returns `taken`, or `spent` when this daemon's part is used up
  */
-export const takeRepeat = (
+export const takeRetry = (
   window: BudgetWindow,
-  settings: BudgetRule,
+  settings: RetryBudgetSettings,
   daemons: number,
   now: Millis,
 ): 'taken' | 'spent' => {
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -130,7 +130,7 @@
   readonly body: Uint8Array;
   readonly credential: string | null;
   /** The caller's timeout, counted from `receivedAt`; null when it sent none. */
-  readonly patienceMs: Millis | null;
+  readonly callerTimeoutMs: Millis | null;
   readonly demand: GenerationDemand | null;
   /** Id of the last event that the caller received of an earlier answer; null for a new request. */
   readonly lastEventId: string | null;
--- a/packages/decisions/streams/delivery.ts
+++ b/packages/decisions/streams/delivery.ts
@@ -37,7 +37,7 @@
   next: 0,
   written: 0,
   held: null,
-  trouble: null,
+  outage: null,
   verdict: 'not-run',
 });
 
@@ -105,10 +105,10 @@
   );
 };
 
-const resumeLink = (state: AttachedState, nextOutage: DeliveryState['trouble']): DeliveryStep => {
+const resumeLink = (state: AttachedState, nextOutage: DeliveryState['outage']): DeliveryStep => {
   const link = state.link + 1;
   return toStep<DeliveryState, DeliveryEffect>(
-    { ...state, phase: 'receiving', link, trouble: nextOutage },
+    { ...state, phase: 'receiving', link, outage: nextOutage },
     { kind: 'resume', source: state.source, fromNumber: state.next, link },
   );
 };
@@ -128,15 +128,15 @@
 
 const handleLinkLoss = (state: AttachedState, now: Millis): DeliveryStep => {
   if (state.phase === 'waiting') return toStep(state);
-  const since = state.trouble?.since ?? now;
-  const resumes = state.trouble?.resumes ?? 0;
+  const since = state.outage?.since ?? now;
+  const resumes = state.outage?.resumes ?? 0;
   if (now - since >= RESUME_TIMEOUT_MS) {
     const message = `no progress at endpoint ${state.source.endpoint} for ${(now - since).toFixed(0)} ms`;
     return failGeneration(state, createFailure('may-have-run', 'endpoint-lost', message));
   }
   if (resumes === 0) return resumeLink(state, { since, resumes: 1 });
   return toStep<DeliveryState, DeliveryEffect>(
-    { ...state, phase: 'waiting', trouble: { since, resumes } },
+    { ...state, phase: 'waiting', outage: { since, resumes } },
     {
       kind: 'schedule-resume',
       generationId: state.source.generationId,
@@ -169,7 +169,7 @@
   const fresh = event.chunks.slice(state.next - event.firstNumber);
   if (fresh.length === 0) return toStep(state);
   const next = state.next + fresh.length;
-  const received = { ...state, next, trouble: null };
+  const received = { ...state, next, outage: null };
   if (state.delivery === 'whole') {
     return toStep({ ...received, held: { batch: fresh, earlier: state.held } });
   }
@@ -226,7 +226,7 @@
 const handleLinkOpened = (state: AttachedState): DeliveryStep =>
   toStep({
     ...state,
-    trouble: state.trouble === null ? null : { ...state.trouble, since: null },
+    outage: state.outage === null ? null : { ...state.outage, since: null },
   });
 
 const handleEndpointGone = (
@@ -266,8 +266,8 @@
     case 'resume-timer':
       return isCurrentLink(state, event) && state.phase === 'waiting'
         ? resumeLink(state, {
-            since: state.trouble?.since ?? event.now,
-            resumes: (state.trouble?.resumes ?? 0) + 1,
+            since: state.outage?.since ?? event.now,
+            resumes: (state.outage?.resumes ?? 0) + 1,
           })
         : toStep(state);
     case 'endpoint-gone':
--- a/packages/decisions/streams/types.ts
+++ b/packages/decisions/streams/types.ts
@@ -44,7 +44,7 @@
   /** Next chunk number to write to the caller. */
   readonly written: number;
   readonly held: HeldChunks | null;
-  readonly trouble: LinkOutage | null;
+  readonly outage: LinkOutage | null;
   /** Merged verdict of all earlier attempts. */
   readonly verdict: Verdict;
 }
--- a/packages/entry/requests/links.ts
+++ b/packages/entry/requests/links.ts
@@ -94,7 +94,7 @@
       ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
       data: {
         stallMs: Math.round(gap),
-        cause: state.delivery.trouble === null ? 'engine' : 'link',
+        cause: state.delivery.outage === null ? 'engine' : 'link',
       },
     },
   };
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -46,7 +46,7 @@
     headers: [],
     body: Buffer.from('x'),
     credential: null,
-    patienceMs: 1_000,
+    callerTimeoutMs: 1_000,
     demand: null,
     lastEventId: null,
     receivedAt: 0,
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -16,7 +16,7 @@
 import type { EventDetails } from '../core/events/types.js';
 import type { EndpointId } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
-import type { AttemptSign } from '../decisions/forwarding/endpointHealth.js';
+import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type {
   EndpointAddress,
   ForwardingConfiguration,
@@ -54,7 +54,11 @@
       readonly changes: readonly RecordChange[];
       readonly scope: 'all' | 'changed';
     }
-  | { readonly kind: 'attempt-observed'; readonly endpoint: EndpointId; readonly sign: AttemptSign }
+  | {
+      readonly kind: 'attempt-observed';
+      readonly endpoint: EndpointId;
+      readonly sign: AttemptObservation;
+    }
   | { readonly kind: 'reports-due' }
   | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
   | { readonly kind: 'removal-due'; readonly id: EndpointId; readonly removedAt: Millis }
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -82,6 +82,6 @@
 // Guards against a cold endpoint that counts as warm.
 test('an endpoint is cold for as long as it said', (t) => {
   const sources = build([buildEndpoint('e-1', { coldForMs: 500 })]);
-  t.is(list(sources)[0]?.coldRoom, 0);
-  t.is(list(sources, 1_600)[0]?.coldRoom, null);
+  t.is(list(sources)[0]?.coldHeadroom, 0);
+  t.is(list(sources, 1_600)[0]?.coldHeadroom, null);
 });
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -42,7 +42,7 @@
       record,
       health,
       load: addLoads(own, sumPeerLoad(peers, record.id, now)),
-      coldRoom: isCold ? 0 : null,
+      coldHeadroom: isCold ? 0 : null,
     });
   }
   return candidates;
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -10,7 +10,10 @@
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { NEW_ENDPOINT_HEALTH, observeAttempt } from '../../decisions/forwarding/endpointHealth.js';
-import type { AttemptSign, EndpointHealth } from '../../decisions/forwarding/endpointHealth.js';
+import type {
+  AttemptObservation,
+  EndpointHealth,
+} from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
 import type { EngineReport, RecordChange, RemovalTrust } from '../types.js';
@@ -211,7 +214,7 @@
 const applySign = (
   { endpoints }: MembershipState,
   id: EndpointId,
-  sign: AttemptSign,
+  sign: AttemptObservation,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -15,12 +15,12 @@
 import { createFailure } from '../../core/verdict.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
-  hasRoom,
+  hasCapacity,
   placeBackup,
-  placeForward,
+  placeAttempt,
   placeTransfer,
 } from '../../decisions/forwarding/placeForward.js';
-import type { Candidate, PlacementQuestion } from '../../decisions/forwarding/placeForward.js';
+import type { Candidate, PlacementCriteria } from '../../decisions/forwarding/placeForward.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyName } from '../types.js';
@@ -49,7 +49,7 @@
 const buildQuestion = (
   { request, route, service, tried }: Forwarding,
   now: Millis,
-): PlacementQuestion => ({
+): PlacementCriteria => ({
   service,
   demand: request.demand,
   targetMs: route.targetMs,
@@ -141,7 +141,7 @@
     streamState: 'open',
   };
   forwarding.attempts.set(attempt.number, attempt);
-  if (plan.candidate.coldRoom !== null) countColdSend(state, endpoint.id, now);
+  if (plan.candidate.coldHeadroom !== null) countColdSend(state, endpoint.id, now);
   return [
     {
       kind: 'open-attempt',
@@ -216,14 +216,14 @@
   const now = inputs.clock.now();
   const candidates = listCandidates(forwarding, context);
   const question = buildQuestion(forwarding, now);
-  const candidate = placeForward(candidates, question, inputs.random);
+  const candidate = placeAttempt(candidates, question, inputs.random);
   const { request, route } = forwarding;
   const waitedMs = now - request.receivedAt;
   const event = { to: 'requests', kind: 'placement-due', key: request.key } as const;
   const hold: GatewayEffect = { kind: 'schedule', delayMs: HOLD_RETRY_MS, event };
   if (candidate !== null) {
     // Another request that ends soon makes room, while a preemption would make one late.
-    const isHeld = !hasRoom(candidate, question) && waitedMs < route.targetMs * FULL_HOLD_SHARE;
+    const isHeld = !hasCapacity(candidate, question) && waitedMs < route.targetMs * FULL_HOLD_SHARE;
     if (isHeld) return [hold];
     return openAttempt(forwarding, { candidate, purpose, copy: null }, candidates, context);
   }
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -2,8 +2,8 @@
 import type { Attempt, Forwarding, RequestsInputs, RequestsState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
-import { OUTPUT_TOKEN_WORTH } from '../../decisions/forwarding/constants.js';
-import { estimateOutput, estimateTokens } from '../../decisions/forwarding/placeForward.js';
+import { OUTPUT_TOKEN_WEIGHT } from '../../decisions/forwarding/constants.js';
+import { estimateOutput, estimatePeakTokens } from '../../decisions/forwarding/placeForward.js';
 import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeForward.js';
 import type { Service } from '../../decisions/forwarding/types.js';
 
@@ -31,7 +31,7 @@
   const { demand } = forwarding.request;
   if (demand === null) return 0;
   const made = countMade(forwarding);
-  const atEnd = Math.max(estimateTokens(demand), demand.promptTokens + made);
+  const atEnd = Math.max(estimatePeakTokens(demand), demand.promptTokens + made);
   return Math.min(atEnd, demand.promptTokens + made + GROWTH_TOKENS);
 };
 
@@ -45,7 +45,7 @@
   const { demand } = forwarding.request;
   if (demand === null) return 0;
   const output = Math.max(countMade(forwarding), estimateOutput(demand));
-  return demand.promptTokens + OUTPUT_TOKEN_WORTH * output;
+  return demand.promptTokens + OUTPUT_TOKEN_WEIGHT * output;
 };
 
 const computeAttemptLoad = (forwarding: Forwarding, attempt: Attempt): EndpointLoad => ({
@@ -138,15 +138,15 @@
   now: Millis,
 ): readonly Candidate[] => {
   if (service.coldPerSecond <= 0) {
-    return candidates.map((candidate) => ({ ...candidate, coldRoom: null }));
+    return candidates.map((candidate) => ({ ...candidate, coldHeadroom: null }));
   }
   const whole = service.coldPerSecond * inputs.getLive().coldOvershoot * COLD_USE;
   const part = Math.max(1, Math.floor(whole / inputs.countDaemons()));
   return candidates.map((candidate) => {
-    if (candidate.coldRoom === null) return candidate;
+    if (candidate.coldHeadroom === null) return candidate;
     const sends = state.coldSends.get(candidate.record.id) ?? [];
     const recent = sends.filter((at) => now - at < COLD_WINDOW_MS).length;
-    return { ...candidate, coldRoom: part - recent };
+    return { ...candidate, coldHeadroom: part - recent };
   });
 };
 
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -117,7 +117,7 @@
         headers: [],
         body: Buffer.from('body'),
         credential: 'key-1',
-        patienceMs: 39_000,
+        callerTimeoutMs: 39_000,
         demand: path.startsWith('/memo') || path.startsWith('/summary') ? DEMAND : null,
         lastEventId: null,
         receivedAt: clock.now(),
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -49,7 +49,7 @@
 const refuseUnready = (request: ForwardRequest, message: string): Effects => {
   const retryAfterMs = Math.min(
     UNREADY_RETRY_MAX_MS,
-    (request.patienceMs ?? 0) * UNREADY_RETRY_SHARE,
+    (request.callerTimeoutMs ?? 0) * UNREADY_RETRY_SHARE,
   );
   return refuseArrival(request, createFailure('not-run', 'no-endpoint', message, retryAfterMs));
 };
@@ -87,7 +87,7 @@
   route,
   service,
   customer,
-  deadlineAt: request.receivedAt + Math.min(route.timeoutMs, request.patienceMs ?? Infinity),
+  deadlineAt: request.receivedAt + Math.min(route.timeoutMs, request.callerTimeoutMs ?? Infinity),
   attempts: new Map(),
   tried: new Set(),
   attemptsMade: 0,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -4,8 +4,8 @@
 import { failRequest } from './outcomes.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { AttemptSign } from '../../decisions/forwarding/endpointHealth.js';
-import { createBudgetWindow, takeRepeat } from '../../decisions/forwarding/retryBudget.js';
+import type { AttemptObservation } from '../../decisions/forwarding/endpointHealth.js';
+import { createBudgetWindow, takeRetry } from '../../decisions/forwarding/retryBudget.js';
 import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 
@@ -37,10 +37,10 @@
 const takeBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
   const { clock, countDaemons, getLive } = context.inputs;
   const window = getBudget(forwarding, context);
-  return takeRepeat(window, getLive().budget, countDaemons(), clock.now());
+  return takeRetry(window, getLive().budget, countDaemons(), clock.now());
 };
 
-const toSign = (end: AttemptEnd): AttemptSign => {
+const toSign = (end: AttemptEnd): AttemptObservation => {
   switch (end.kind) {
     case 'unreachable':
       return { kind: 'unreachable' };
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId, EndpointId } from '../core/ids.js';
-import type { BudgetRule } from '../decisions/forwarding/retryBudget.js';
+import type { RetryBudgetSettings } from '../decisions/forwarding/retryBudget.js';
 import type {
   EndpointAddress,
   EndpointRecord,
@@ -29,7 +29,7 @@
 export interface LiveSettings {
   /** Hosts of gateway daemons to begin with; some may be gone. */
   readonly seeds: readonly string[];
-  readonly budget: BudgetRule;
+  readonly budget: RetryBudgetSettings;
   /** Time from the order to stop until the process is killed. */
   readonly graceMs: Millis;
   /** Factor of the bound on requests to a cold endpoint. */
