Rename local symbols of the endpoint daemon to terms of the field

POLL and AGAIN were effects that schedule the next poll, sketch and reach were vague, and the gate of the engine client shared its name with the gate for new work. They are now SCHEDULE_POLL, cachedPrefixes, reachability and ReadPause. Functions that finish, fail or release a generation, call or nonce say so.

--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -1,4 +1,4 @@
-import { EXPIRE_MS } from './constants.js';
+import { EXPIRY_INTERVAL_MS } from './constants.js';
 import type { CallsState, RunningCall } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -71,14 +71,14 @@
   if (refusal !== null) {
     return [
       ...refuseCall(call, refusal),
-      describeOutcome({ call, startedAt: inputs.now() }, 'cancelled', inputs.now()),
+      buildWorkEnded({ call, startedAt: inputs.now() }, 'cancelled', inputs.now()),
     ];
   }
   state.running.set(call.callId, { call, startedAt: inputs.now() });
   return [{ kind: 'call-service', call }];
 };
 
-const describeOutcome = (
+const buildWorkEnded = (
   { call, startedAt }: RunningCall,
   result: WorkResult,
   now: Millis,
@@ -100,7 +100,7 @@
   },
 });
 
-const closeAnswered = (
+const finishCall = (
   state: CallsState,
   callId: string,
   answer: ServiceAnswer,
@@ -116,10 +116,10 @@
     decideNonce(state.nonces, { kind: 'finish', nonce, answer: stored, now });
   }
   const result = answer.status >= FIRST_SERVER_ERROR ? 'failure' : 'success';
-  return [{ kind: 'reply-answer', callId, answer }, describeOutcome(running, result, now)];
+  return [{ kind: 'reply-answer', callId, answer }, buildWorkEnded(running, result, now)];
 };
 
-const closeFailed = (
+const failCall = (
   state: CallsState,
   callId: string,
   failure: Failure,
@@ -134,7 +134,7 @@
   }
   return [
     { kind: 'reply-failure', callId, failure },
-    describeOutcome(running, failure.code === 'endpoint-lost' ? 'lost' : 'failure', inputs.now()),
+    buildWorkEnded(running, failure.code === 'endpoint-lost' ? 'lost' : 'failure', inputs.now()),
   ];
 };
 
@@ -191,14 +191,14 @@
     case 'open':
       return openCall(state, event.call, inputs);
     case 'service-answered':
-      return closeAnswered(state, event.callId, event.answer, inputs);
+      return finishCall(state, event.callId, event.answer, inputs);
     case 'service-failed':
-      return closeFailed(state, event.callId, event.failure, inputs);
+      return failCall(state, event.callId, event.failure, inputs);
     case 'fence':
       return fenceNonce(state, event.call, inputs);
     case 'sweep':
       decideNonce(state.nonces, { kind: 'expire', now: inputs.now() });
-      return [{ kind: 'schedule', delayMs: EXPIRE_MS, event }];
+      return [{ kind: 'schedule', delayMs: EXPIRY_INTERVAL_MS, event }];
     default:
       return assertNever(event);
   }
@@ -220,7 +220,7 @@
     toStep<CallsState, EndpointEffect>(
       { running: new Map(), nonces: inputs.nonces },
       { kind: 'reset-calls' },
-      { kind: 'schedule', delayMs: EXPIRE_MS, event: { to: 'calls', kind: 'sweep' } },
+      { kind: 'schedule', delayMs: EXPIRY_INTERVAL_MS, event: { to: 'calls', kind: 'sweep' } },
     ),
   decide: (state, event) => toStep(state, ...decideCalls(state, event, inputs)),
 });
--- a/packages/endpoint/calls/constants.ts
+++ b/packages/endpoint/calls/constants.ts
@@ -1,2 +1,2 @@
 /** Period in which old nonces and answers are dropped. */
-export const EXPIRE_MS = 10_000;
+export const EXPIRY_INTERVAL_MS = 10_000;
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -1,7 +1,7 @@
 import { ENGINE_POLL_MS } from './constants.js';
 import { addOutcome } from './evidence.js';
 import type { SlowThresholds } from './evidence.js';
-import { applyCacheEvents, createPrefixSketch } from './prefixSketch.js';
+import { applyCacheEvents, createCachedPrefixes } from './prefixSketch.js';
 import type { EngineState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -38,7 +38,7 @@
   readonly target: 'model' | 'service';
   readonly version: VersionName;
   /** Bounds of the limit; the accepted gap follows the targets in force. */
-  readonly getAdmission: () => AdmissionContext['settings'];
+  readonly getAdmissionSettings: () => AdmissionContext['settings'];
   /** Length estimates, learned from this endpoint's own generations. */
   readonly survival: SurvivalTable;
   readonly findTargets: (className: string, importance: string) => ClassTargets;
@@ -47,14 +47,14 @@
 
 type EngineStep = Step<EngineState, EndpointEffect>;
 
-const POLL: EndpointEffect = {
+const SCHEDULE_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: ENGINE_POLL_MS,
   event: { to: 'engine', kind: 'poll' },
 };
 
 const toContext = (inputs: EngineInputs): AdmissionContext => ({
-  settings: inputs.getAdmission(),
+  settings: inputs.getAdmissionSettings(),
   survival: inputs.survival,
 });
 
@@ -90,7 +90,7 @@
 };
 
 const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
-  toStep({ ...state, load, loadAt: inputs.now() - load.ageMs });
+  toStep({ ...state, load, loadMeasuredAt: inputs.now() - load.ageMs });
 
 /** The load page lags, so figures of an earlier start of the engine say nothing about this one. */
 const getMemory = (state: EngineState, startId: string): EngineMemory => {
@@ -114,7 +114,7 @@
 ): EngineStep => {
   const { health, requestedAt } = event;
   const now = inputs.now();
-  const next = { ...state, reach: 'reached', health } as const;
+  const next = { ...state, reachability: 'reached', health } as const;
   if (!isReady(next, health, inputs)) {
     return removeProbes(applyAdmission(next, { kind: 'engine-unreachable', now }, inputs));
   }
@@ -124,7 +124,7 @@
       kind: 'load-read',
       identity: health.startId,
       memory: getMemory(next, health.startId),
-      generated: state.generated,
+      generated: state.generatedTokens,
       requestedAt,
       now,
     },
@@ -141,12 +141,12 @@
 const applyUnreachable = (state: EngineState, reason: string, inputs: EngineInputs): EngineStep => {
   const step = removeProbes(
     applyAdmission(
-      { ...state, reach: 'unreachable', health: null },
+      { ...state, reachability: 'unreachable', health: null },
       { kind: 'engine-unreachable', now: inputs.now() },
       inputs,
     ),
   );
-  if (state.reach === 'unreachable') return step;
+  if (state.reachability === 'unreachable') return step;
   return toStep(step.state, ...step.effects, {
     kind: 'log',
     name: 'engine-unreachable',
@@ -155,7 +155,7 @@
 };
 
 const checkReady = (state: EngineState): Failure | null => {
-  if (state.reach === 'reached' && state.health?.status === 'ready') return null;
+  if (state.reachability === 'reached' && state.health?.status === 'ready') return null;
   return createFailure('not-run', 'overloaded', 'the endpoint is not ready', ENGINE_POLL_MS);
 };
 
@@ -254,9 +254,9 @@
   else inputs.survival.observeCensored(key, tokens);
 };
 
-const closeWork = (state: EngineState, outcome: WorkOutcome, inputs: EngineInputs): EngineStep => {
+const finishWork = (state: EngineState, outcome: WorkOutcome, inputs: EngineInputs): EngineStep => {
   observeLength(outcome, inputs);
-  state.generated.delete(outcome.workId);
+  state.generatedTokens.delete(outcome.workId);
   const thresholds = inputs.findThresholds(outcome.className);
   return applyAdmission(
     { ...state, evidence: addOutcome(state.evidence, outcome, thresholds) },
@@ -276,7 +276,7 @@
   inputs: EngineInputs,
 ): EngineStep => {
   const { workId, tokens, gapMs } = event;
-  state.generated.set(workId, (state.generated.get(workId) ?? 0) + tokens);
+  state.generatedTokens.set(workId, (state.generatedTokens.get(workId) ?? 0) + tokens);
   return applyAdmission(
     state,
     { kind: 'tokens-received', requestId: workId, tokens, gapMs, now: inputs.now() },
@@ -285,13 +285,13 @@
 };
 
 const probeEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
-  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, POLL);
+  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, SCHEDULE_POLL);
   return toStep<EngineState, EndpointEffect>(
     state,
     { kind: 'fetch-health' },
     { kind: 'fetch-load' },
-    { kind: 'fetch-cache-events', from: state.sketch.next },
-    POLL,
+    { kind: 'fetch-cache-events', from: state.cachedPrefixes.next },
+    SCHEDULE_POLL,
   );
 };
 
@@ -312,7 +312,10 @@
     case 'load-received':
       return applyLoad(state, event.load, inputs);
     case 'cache-events-received':
-      return toStep({ ...state, sketch: applyCacheEvents(state.sketch, event.events, event.next) });
+      return toStep({
+        ...state,
+        cachedPrefixes: applyCacheEvents(state.cachedPrefixes, event.events, event.next),
+      });
     case 'admit-generation':
       return admitGeneration(state, event.call, inputs);
     case 'admit-call':
@@ -320,7 +323,7 @@
     case 'tokens-received':
       return applyTokens(state, event, inputs);
     case 'work-ended':
-      return closeWork(state, event.outcome, inputs);
+      return finishWork(state, event.outcome, inputs);
     case 'restart-ramp':
       return restartRamp(state, inputs);
     default:
@@ -341,13 +344,13 @@
   init: () =>
     toStep<EngineState, EndpointEffect>(
       {
-        reach: 'unknown',
+        reachability: 'unknown',
         health: null,
         load: null,
-        loadAt: 0,
+        loadMeasuredAt: 0,
         admission: createAdmissionState(inputs.now()),
-        generated: new Map(),
-        sketch: createPrefixSketch(),
+        generatedTokens: new Map(),
+        cachedPrefixes: createCachedPrefixes(),
         evidence: new Map(),
       },
       { kind: 'post', event: { to: 'engine', kind: 'poll' } },
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -68,23 +68,24 @@
   return createFailure('may-have-run', 'endpoint-failed', detail);
 };
 
-interface Gate {
-  readonly opened: Promise<void>;
-  readonly open: () => void;
+/** Suspends reading from the engine's connection until it is resumed. */
+interface ReadPause {
+  readonly resumed: Promise<void>;
+  readonly resume: () => void;
 }
 
 interface RunningGeneration {
   readonly controller: AbortController;
-  /** Set while reading from the engine is held back; TCP then slows the engine's sender. */
-  gate: Gate | null;
+  /** Set while reading is paused; TCP flow control then slows down the engine's sender. */
+  pause: ReadPause | null;
 }
 
-const createGate = (): Gate => {
-  let open: () => void = () => undefined;
-  const opened = new Promise<void>((resolve) => {
-    open = resolve;
+const createReadPause = (): ReadPause => {
+  let resume: () => void = () => undefined;
+  const resumed = new Promise<void>((resolve) => {
+    resume = resolve;
   });
-  return { opened, open };
+  return { resumed, resume };
 };
 
 export interface EngineClient {
@@ -198,7 +199,7 @@
         post({ to: 'streams', kind: 'engine-chunks', generationId, choices });
         choices = [];
       }
-      if (state.gate !== null) await state.gate.opened;
+      if (state.pause !== null) await state.pause.resumed;
     }
     if (progress.state === 'open') {
       throw new Error('the engine ended the stream before its end mark');
@@ -212,7 +213,7 @@
     priority: number,
   ): Promise<void> => {
     const controller = new AbortController();
-    const state: RunningGeneration = { controller, gate: null };
+    const state: RunningGeneration = { controller, pause: null };
     running.set(generationId, state);
     try {
       const body = JSON.parse(Buffer.from(call.body).toString('utf8')) as Record<string, unknown>;
@@ -277,7 +278,7 @@
   };
 
   const cancelGeneration = (generationId: GenerationId): void => {
-    running.get(generationId)?.gate?.open();
+    running.get(generationId)?.pause?.resume();
     running.get(generationId)?.controller.abort();
     running.delete(generationId);
   };
@@ -294,8 +295,8 @@
     setFlow: (generationId, flow) => {
       const state = running.get(generationId);
       if (state === undefined) return;
-      state.gate?.open();
-      state.gate = flow === 'paused' ? createGate() : null;
+      state.pause?.resume();
+      state.pause = flow === 'paused' ? createReadPause() : null;
     },
     callService: (call) => void callOnce(call),
     close: () => agent.destroy(),
--- a/packages/endpoint/engine/prefixSketch.ts
+++ b/packages/endpoint/engine/prefixSketch.ts
@@ -1,14 +1,14 @@
 import { MAX_PREFIXES } from './constants.js';
-import type { PrefixSketch } from './types.js';
+import type { CachedPrefixes } from './types.js';
 import type { CacheEvent } from '../types.js';
 
 /**
- * Creates the sketch of an engine whose cache is unknown.
+ * Creates the cached of an engine whose cache is unknown.
  *
- * @returns an empty sketch
+ * @returns an empty cached
  */
-export const createPrefixSketch = (): PrefixSketch => ({
-  prefixes: new Set(),
+export const createCachedPrefixes = (): CachedPrefixes => ({
+  hashes: new Set(),
   next: 0,
   gaps: 0,
   newestAt: 0,
@@ -17,19 +17,19 @@
 /**
  * Applies cache events. A jump in the sequence counts as a gap and nothing is guessed about it.
  *
- * @param sketch - sketch so far
+ * @param cached - cached so far
  * @param events - events in the order of their sequence
  * @param next - first sequence number to ask for next
- * @returns the next sketch
+ * @returns the next cached
  */
 export const applyCacheEvents = (
-  sketch: PrefixSketch,
+  cached: CachedPrefixes,
   events: readonly CacheEvent[],
   next: number,
-): PrefixSketch => {
-  if (events.length === 0) return next === sketch.next ? sketch : { ...sketch, next };
-  const prefixes = new Set(sketch.prefixes);
-  let { next: expected, gaps, newestAt } = sketch;
+): CachedPrefixes => {
+  if (events.length === 0) return next === cached.next ? cached : { ...cached, next };
+  const prefixes = new Set(cached.hashes);
+  let { next: expected, gaps, newestAt } = cached;
   for (const event of events) {
     if (event.sequence > expected) gaps += event.sequence - expected;
     expected = event.sequence + 1;
@@ -38,5 +38,5 @@
     if (event.kind === 'stored') prefixes.add(event.prefix);
   }
   const kept = [...prefixes].slice(-MAX_PREFIXES);
-  return { prefixes: new Set(kept), next: Math.max(next, expected), gaps, newestAt };
+  return { hashes: new Set(kept), next: Math.max(next, expected), gaps, newestAt };
 };
--- a/packages/endpoint/heartbeats/configuration.ts
+++ b/packages/endpoint/heartbeats/configuration.ts
@@ -20,7 +20,7 @@
   },
 });
 
-const takeSnapshot = (state: ConfigurationState, json: unknown): ConfigurationUpdate => {
+const applyReceivedSnapshot = (state: ConfigurationState, json: unknown): ConfigurationUpdate => {
   if (json === null) return { configuration: state, effects: [] };
   const parsed = parseSnapshot(json);
   return parsed.isOk()
@@ -28,7 +28,7 @@
     : { configuration: state, effects: [logRejected(parsed.error.message, null)] };
 };
 
-const takeRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
+const applyReceivedRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
   const { configuration, effects } = update;
   // Records after a gap wait for the next answer, which starts at this process's own offset.
   if (raw.offset !== configuration.nextOffset) return update;
@@ -63,4 +63,7 @@
   state: ConfigurationState,
   answer: HeartbeatAnswer,
 ): ConfigurationUpdate =>
-  answer.records.reduce<ConfigurationUpdate>(takeRecord, takeSnapshot(state, answer.snapshot));
+  answer.records.reduce<ConfigurationUpdate>(
+    applyReceivedRecord,
+    applyReceivedSnapshot(state, answer.snapshot),
+  );
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -36,7 +36,10 @@
   readonly close: () => void;
 }
 
-const toMessage = (identity: HeartbeatIdentity, content: HeartbeatContent): HeartbeatRequest =>
+const encodeHeartbeat = (
+  identity: HeartbeatIdentity,
+  content: HeartbeatContent,
+): HeartbeatRequest =>
   create(HeartbeatRequestSchema, {
     ...identity,
     format: MESSAGE_FORMAT,
@@ -123,7 +126,7 @@
 
   const send = async (to: string, url: string, content: HeartbeatContent): Promise<void> => {
     try {
-      const message = toMessage(getIdentity(), content);
+      const message = encodeHeartbeat(getIdentity(), content);
       const response = await connect(url).client.heartbeat(message, { timeoutMs });
       post({
         to: 'heartbeats',
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -103,7 +103,7 @@
   return targets.flatMap((target) => entries.get(target) ?? []);
 };
 
-const sendBeat = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
+const sendHeartbeats = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
   const now = inputs.now();
   // Counted by uptime, so that a restarted child does not fall behind its earlier heartbeats.
   const sequence = Math.max(state.sequence + 1, Math.ceil(now - inputs.startedAt));
@@ -124,7 +124,7 @@
   return toStep({ ...sent.state, sequence }, ...sent.effects, ...sends);
 };
 
-const takeConfiguration = (
+const applyConfiguration = (
   state: HeartbeatsState,
   answer: HeartbeatAnswer,
   inputs: HeartbeatsInputs,
@@ -145,7 +145,7 @@
 ): HeartbeatsStep => {
   switch (event.kind) {
     case 'beat-due': {
-      const step = sendBeat(state, inputs);
+      const step = sendHeartbeats(state, inputs);
       return toStep(step.state, ...step.effects, {
         kind: 'schedule',
         delayMs: inputs.intervalMs,
@@ -153,7 +153,7 @@
       });
     }
     case 'beat':
-      return sendBeat(state, inputs);
+      return sendHeartbeats(state, inputs);
     case 'tick': {
       const step = applyLease(state, { kind: 'tick', now: inputs.now() });
       const again: EndpointEffect = { kind: 'schedule', delayMs: LEASE_TICK_MS, event };
@@ -161,7 +161,7 @@
     }
     case 'acknowledged': {
       // The configuration counts before the lease: work let in by the lease must know it.
-      const configured = takeConfiguration(state, event.answer, inputs);
+      const configured = applyConfiguration(state, event.answer, inputs);
       const { from, sequence } = event;
       const now = inputs.now();
       const acknowledged = { kind: 'heartbeat-acknowledged', sequence, from, now } as const;
--- a/packages/endpoint/platform/platform.ts
+++ b/packages/endpoint/platform/platform.ts
@@ -15,7 +15,7 @@
 
 type PlatformStep = Step<PlatformState, EndpointEffect>;
 
-const AGAIN: EndpointEffect = {
+const SCHEDULE_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: LIST_POLL_MS,
   event: { to: 'platform', kind: 'poll' },
@@ -26,9 +26,12 @@
   event: Extract<PlatformEvent, { readonly kind: 'list-received' }>,
 ): PlatformStep => {
   const next: PlatformState = { entries: event.entries, list: 'up', self: event.self };
-  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, AGAIN);
+  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, SCHEDULE_POLL);
   const reason = 'the instance list shows this instance as leaving';
-  return toStep(next, AGAIN, { kind: 'post', event: { to: 'rpc', kind: 'drain-started', reason } });
+  return toStep(next, SCHEDULE_POLL, {
+    kind: 'post',
+    event: { to: 'rpc', kind: 'drain-started', reason },
+  });
 };
 
 /**
@@ -60,7 +63,9 @@
           details: { data: { reason: event.reason } },
         };
         const next = { ...state, list: 'out' } as const;
-        return state.list === 'out' ? toStep(next, AGAIN) : toStep(next, AGAIN, logged);
+        return state.list === 'out'
+          ? toStep(next, SCHEDULE_POLL)
+          : toStep(next, SCHEDULE_POLL, logged);
       }
       default:
         return assertNever(event);
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -39,7 +39,7 @@
 
 const IMPORTANCES: readonly Importance[] = ['critical', 'standard', 'background'];
 
-const readImportance = (text: string): Importance =>
+const parseImportance = (text: string): Importance =>
   IMPORTANCES.find((known) => known === text) ?? 'standard';
 
 const toGenerateCall = (callId: CallId, message: GenerateRequest): GenerateCall => ({
@@ -53,7 +53,7 @@
   route: message.route,
   incarnation: message.incarnation,
   resumeFrom: message.resumeFrom,
-  importance: readImportance(message.importance),
+  importance: parseImportance(message.importance),
   deadlineMs: message.deadlineMs,
   promptTokens: message.promptTokens,
   entry: message.entry,
@@ -71,7 +71,7 @@
   });
 
 /** These answers carry no failure, so the error of the call says what is wrong. */
-const refuseUnknownFormat = (format: number): void => {
+const assertMessageFormat = (format: number): void => {
   const failure = checkMessageFormat(format);
   if (failure !== null) throw new ConnectError(failure.message, Code.InvalidArgument);
 };
@@ -97,9 +97,9 @@
   readonly close: () => Promise<void>;
 }
 
-const LOST_TEXT = 'the endpoint daemon lost its state';
-const LOST_STREAM = createFailure('may-have-run', 'stream-lost', LOST_TEXT);
-const LOST_CALL = createFailure('may-have-run', 'endpoint-failed', LOST_TEXT);
+const LOST_STATE_MESSAGE = 'the endpoint daemon lost its state';
+const LOST_STREAM = createFailure('may-have-run', 'stream-lost', LOST_STATE_MESSAGE);
+const LOST_CALL = createFailure('may-have-run', 'endpoint-failed', LOST_STATE_MESSAGE);
 const SHED_FAILURE = createFailure('not-run', 'overloaded', 'the event queue is full');
 
 /**
@@ -176,7 +176,7 @@
             requestId: message.requestId,
             customer: message.customer,
             className: message.className,
-            importance: readImportance(message.importance),
+            importance: parseImportance(message.importance),
             incarnation: message.incarnation,
             nonce: message.nonce === '' ? null : message.nonce,
             method: message.method,
@@ -191,13 +191,13 @@
           }
         }),
       cancel: (message) => {
-        refuseUnknownFormat(message.format);
+        assertMessageFormat(message.format);
         const { generationId } = message;
         post({ to: 'streams', kind: 'cancel', generationId, incarnation: message.incarnation });
         return create(CancelResponseSchema);
       },
       fence: (message) => {
-        refuseUnknownFormat(message.format);
+        assertMessageFormat(message.format);
         return new Promise<FenceResponse>((resolve) => {
           const callId = createId();
           fences.set(callId, resolve);
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -1,4 +1,4 @@
-import { MAX_KEPT_ANSWER_BYTES } from './constants.js';
+import { MAX_RETAINED_ANSWER_BYTES } from './constants.js';
 import type { AnswerRecord, Generation } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -28,7 +28,7 @@
  * @param inputs - clock and nonces
  * @returns null when it may start, else why not
  */
-export const startOnce = (call: GenerateCall, inputs: AnswerRecordInputs): Failure | null => {
+export const startNonce = (call: GenerateCall, inputs: AnswerRecordInputs): Failure | null => {
   const { nonce, incarnation } = call;
   if (nonce === null) return null;
   const event = { kind: 'start', nonce, incarnation, now: inputs.now() } as const;
@@ -52,7 +52,7 @@
  * @param call - request that starts the generation
  * @returns the record; null when the generation may run again
  */
-export const createRecord = (call: GenerateCall): AnswerRecord | null =>
+export const createAnswerRecord = (call: GenerateCall): AnswerRecord | null =>
   call.nonce === null ? null : { digest: '', bytes: 0, choices: [] };
 
 /**
@@ -62,7 +62,7 @@
  * @param choices - choices lists of the chunks, in order
  * @param inputs - hash
  */
-export const addToRecord = (
+export const addToAnswerRecord = (
   record: AnswerRecord,
   choices: readonly string[],
   { hashBody }: AnswerRecordInputs,
@@ -72,10 +72,10 @@
     record.bytes += Buffer.byteLength(choice);
     record.choices?.push(choice);
   }
-  if (record.bytes > MAX_KEPT_ANSWER_BYTES) record.choices = null;
+  if (record.bytes > MAX_RETAINED_ANSWER_BYTES) record.choices = null;
 };
 
-const toStored = (record: AnswerRecord, end: BufferEnd): StoredGeneration | null => {
+const toStoredGeneration = (record: AnswerRecord, end: BufferEnd): StoredGeneration | null => {
   switch (end.kind) {
     case 'finished':
       return record.choices === null
@@ -96,7 +96,7 @@
  * @param end - how it ended
  * @param inputs - clock and nonces
  */
-export const closeRecord = (
+export const finishNonce = (
   { call, record }: Generation,
   end: BufferEnd,
   inputs: AnswerRecordInputs,
@@ -109,7 +109,7 @@
   }
   const status = end.kind === 'finished' ? STATUS_OK : STATUS_FAILED;
   const bodyDigest = record.digest;
-  const stored = toStored(record, end);
+  const stored = toStoredGeneration(record, end);
   if (stored === null) {
     decideNonce(inputs.nonces, { kind: 'finish-without-answer', nonce, status, bodyDigest });
     return;
--- a/packages/endpoint/streams/bufferEffects.ts
+++ b/packages/endpoint/streams/bufferEffects.ts
@@ -10,7 +10,7 @@
  * @param identity - stream and link
  * @returns text that differs between readers
  */
-export const toReaderKey = ({ stream, link }: ReaderIdentity): string =>
+export const formatReaderKey = ({ stream, link }: ReaderIdentity): string =>
   `${stream}/${link.toString()}`;
 
 /**
@@ -20,7 +20,7 @@
  * @param result - how it ended
  * @returns the effect for the engine's child
  */
-export const describeOutcome = (
+export const buildWorkEnded = (
   generation: Generation,
   result: WorkOutcome['result'],
 ): EndpointEffect => {
@@ -53,20 +53,20 @@
 ): readonly EndpointEffect[] => {
   switch (effect.kind) {
     case 'send-chunks': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       const { firstNumber, chunks } = effect;
       return [{ kind: 'send-chunks', callId, firstNumber, choices: chunks }];
     }
     case 'send-finished': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       const { chunkCount, usage } = effect;
       const digest = state.generations.get(generationId)?.record?.digest ?? '';
       return [{ kind: 'send-finished', callId, chunkCount, usage, digest }];
     }
     case 'send-failed': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       return [{ kind: 'send-failure', callId, failure: effect.failure }];
     }
@@ -76,7 +76,7 @@
       return [{ kind: 'set-engine-flow', generationId, flow: 'flowing' }];
     case 'cancel-engine': {
       const generation = state.generations.get(generationId);
-      const ended = generation === undefined ? [] : [describeOutcome(generation, 'cancelled')];
+      const ended = generation === undefined ? [] : [buildWorkEnded(generation, 'cancelled')];
       return [
         { kind: 'cancel-generation', generationId },
         ...ended,
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -1,8 +1,8 @@
-import { closeRecord, createRecord, addToRecord, startOnce } from './answerRecord.js';
+import { finishNonce, createAnswerRecord, addToAnswerRecord, startNonce } from './answerRecord.js';
 import type { AnswerRecordInputs } from './answerRecord.js';
-import { describeOutcome, toEndpointEffects, toReaderKey } from './bufferEffects.js';
-import { PROGRESS_REPORT_MS, REFUSED_KEPT_MS, SWEEP_MS } from './constants.js';
-import type { Generation, ReaderLink, StreamsState } from './types.js';
+import { buildWorkEnded, toEndpointEffects, formatReaderKey } from './bufferEffects.js';
+import { PROGRESS_REPORT_INTERVAL_MS, REFUSED_RESUME_RETENTION_MS, SWEEP_MS } from './constants.js';
+import type { Generation, ReaderRegistration, StreamsState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { GenerationId } from '../../core/ids.js';
@@ -41,17 +41,17 @@
 
 const registerReader = (state: StreamsState, call: GenerateCall): ReaderIdentity => {
   const identity = { stream: call.stream, link: call.link };
-  const link: ReaderLink = { generationId: call.generationId, ...identity };
+  const link: ReaderRegistration = { generationId: call.generationId, ...identity };
   state.readers.set(call.callId, link);
-  state.calls.set(toReaderKey(identity), call.callId);
+  state.callIds.set(formatReaderKey(identity), call.callId);
   return identity;
 };
 
-const removeReader = (state: StreamsState, callId: CallId): ReaderLink | undefined => {
+const removeReader = (state: StreamsState, callId: CallId): ReaderRegistration | undefined => {
   const link = state.readers.get(callId);
   if (link === undefined) return undefined;
   state.readers.delete(callId);
-  state.calls.delete(toReaderKey(link));
+  state.callIds.delete(formatReaderKey(link));
   return link;
 };
 
@@ -68,7 +68,7 @@
   // A generation that the daemon itself stopped ran in part, and must not run again.
   const { end } = step.state;
   if (step.effects.some(({ kind }) => kind === 'cancel-engine') && end !== null) {
-    closeRecord(generation, end, inputs);
+    finishNonce(generation, end, inputs);
   }
   const next = { ...generation, buffer: step.state };
   state.generations.set(generationId, next);
@@ -81,17 +81,17 @@
   call: GenerateCall,
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
-  if (state.refused.has(call.generationId)) {
+  if (state.refusedResumes.has(call.generationId)) {
     const text = 'the start arrived after a resume of the generation was refused';
-    return [...refuseCall(call, createFailure('not-run', 'fenced', text)), describeRefused(call)];
+    return [...refuseCall(call, createFailure('not-run', 'fenced', text)), releaseAdmission(call)];
   }
-  const refusal = startOnce(call, inputs);
-  if (refusal !== null) return [...refuseCall(call, refusal), describeRefused(call)];
+  const refusal = startNonce(call, inputs);
+  if (refusal !== null) return [...refuseCall(call, refusal), releaseAdmission(call)];
   const now = inputs.now();
   const orphans = call.nonce === null ? 'cancelled' : 'kept';
   const generation: Generation = {
     call,
-    record: createRecord(call),
+    record: createAnswerRecord(call),
     buffer: initBuffer(now, { ...inputs.limits, orphans }),
     startedAt: now,
     firstChunkAt: null,
@@ -158,7 +158,7 @@
     return [resumed, ...openReader(state, known, call, inputs)];
   }
   if (call.mode === 'resume') {
-    state.refused.set(call.generationId, inputs.now());
+    state.refusedResumes.set(call.generationId, inputs.now());
     const text = `generation ${call.generationId} is not held here any more`;
     return refuseCall(call, createFailure('may-have-run', 'stream-lost', text));
   }
@@ -166,11 +166,11 @@
 };
 
 /** Reports progress now and then only: the limit needs means, not every token. */
-const describeProgress = (generation: Generation, now: Millis): EndpointEffect | null => {
+const buildProgressReport = (generation: Generation, now: Millis): EndpointEffect | null => {
   const { call, firstChunkAt, reportedAt, reportedCount, chunkCount } = generation;
   const since = reportedAt ?? firstChunkAt ?? now;
   const tokens = chunkCount - reportedCount;
-  if (now - since < PROGRESS_REPORT_MS || tokens < 1) return null;
+  if (now - since < PROGRESS_REPORT_INTERVAL_MS || tokens < 1) return null;
   const event = {
     to: 'engine',
     kind: 'tokens-received',
@@ -189,14 +189,14 @@
   const generation = state.generations.get(event.generationId);
   if (generation === undefined) return [];
   const now = inputs.now();
-  if (generation.record !== null) addToRecord(generation.record, event.choices, inputs);
+  if (generation.record !== null) addToAnswerRecord(generation.record, event.choices, inputs);
   const timed: Generation = {
     ...generation,
     firstChunkAt: generation.firstChunkAt ?? now,
     lastChunkAt: now,
     chunkCount: generation.chunkCount + event.choices.length,
   };
-  const report = describeProgress(timed, now);
+  const report = buildProgressReport(timed, now);
   const reported =
     report === null ? timed : { ...timed, reportedAt: now, reportedCount: timed.chunkCount };
   return [
@@ -205,7 +205,7 @@
   ];
 };
 
-const closeFinished = (
+const finishGeneration = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'engine-finished' }>,
   inputs: StreamsInputs,
@@ -213,10 +213,10 @@
   const generation = state.generations.get(event.generationId);
   if (generation === undefined || !isRunning(generation)) return [];
   const now = inputs.now();
-  closeRecord(generation, { kind: 'finished', usage: event.usage }, inputs);
+  finishNonce(generation, { kind: 'finished', usage: event.usage }, inputs);
   return [
     ...applyBuffer(state, generation, { kind: 'engine-finished', usage: event.usage, now }, inputs),
-    describeOutcome(generation, 'success'),
+    buildWorkEnded(generation, 'success'),
     {
       kind: 'log',
       name: 'generation-finished',
@@ -233,7 +233,7 @@
   return failure.code === 'endpoint-lost' ? 'lost' : 'failure';
 };
 
-const closeFailed = (
+const failGeneration = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'engine-failed' }>,
   inputs: StreamsInputs,
@@ -242,11 +242,11 @@
   if (generation === undefined || !isRunning(generation)) return [];
   const { failure } = event;
   const now = inputs.now();
-  closeRecord(generation, { kind: 'failed', failure }, inputs);
+  finishNonce(generation, { kind: 'failed', failure }, inputs);
   const result = toResult(failure);
   return [
     ...applyBuffer(state, generation, { kind: 'engine-failed', failure, now }, inputs),
-    describeOutcome(generation, result),
+    buildWorkEnded(generation, result),
     {
       kind: 'log',
       name: 'generation-failed',
@@ -271,7 +271,7 @@
   return applyBuffer(state, generation, closed, inputs);
 };
 
-const updateTaken = (
+const recordReaderProgress = (
   state: StreamsState,
   event: Extract<StreamsEvent, { readonly kind: 'reader-took' }>,
   inputs: StreamsInputs,
@@ -285,7 +285,7 @@
   return applyBuffer(state, generation, taken, inputs);
 };
 
-const cancelByCaller = (
+const cancelGeneration = (
   state: StreamsState,
   generationId: GenerationId,
   inputs: StreamsInputs,
@@ -297,7 +297,7 @@
 };
 
 /** Takes the admitted sequence off the limit again. */
-const describeRefused = (call: GenerateCall): EndpointEffect => ({
+const releaseAdmission = (call: GenerateCall): EndpointEffect => ({
   kind: 'post',
   event: {
     to: 'engine',
@@ -315,10 +315,10 @@
   },
 });
 
-const pruneRefused = (state: StreamsState, now: Millis): void => {
-  for (const [generationId, at] of state.refused) {
-    if (now - at < REFUSED_KEPT_MS) return;
-    state.refused.delete(generationId);
+const pruneRefusedResumes = (state: StreamsState, now: Millis): void => {
+  for (const [generationId, at] of state.refusedResumes) {
+    if (now - at < REFUSED_RESUME_RETENTION_MS) return;
+    state.refusedResumes.delete(generationId);
   }
 };
 
@@ -327,12 +327,12 @@
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const now = inputs.now();
-  pruneRefused(state, now);
+  pruneRefusedResumes(state, now);
   const ticks = [...state.generations.values()].flatMap((generation) =>
     applyBuffer(state, generation, { kind: 'tick', now }, inputs),
   );
-  const again = { to: 'streams', kind: 'sweep' } as const;
-  return [...ticks, { kind: 'schedule', delayMs: SWEEP_MS, event: again }];
+  const sweepEvent = { to: 'streams', kind: 'sweep' } as const;
+  return [...ticks, { kind: 'schedule', delayMs: SWEEP_MS, event: sweepEvent }];
 };
 
 const decideStreams = (
@@ -346,15 +346,15 @@
     case 'engine-chunks':
       return addChunks(state, event, inputs);
     case 'engine-finished':
-      return closeFinished(state, event, inputs);
+      return finishGeneration(state, event, inputs);
     case 'engine-failed':
-      return closeFailed(state, event, inputs);
+      return failGeneration(state, event, inputs);
     case 'reader-took':
-      return updateTaken(state, event, inputs);
+      return recordReaderProgress(state, event, inputs);
     case 'reader-gone':
       return closeReader(state, event.callId, inputs);
     case 'cancel':
-      return cancelByCaller(state, event.generationId, inputs);
+      return cancelGeneration(state, event.generationId, inputs);
     case 'sweep':
       return expireGenerations(state, inputs);
     default:
@@ -377,8 +377,8 @@
       {
         generations: new Map(),
         readers: new Map(),
-        calls: new Map(),
-        refused: new Map(),
+        callIds: new Map(),
+        refusedResumes: new Map(),
         running: 0,
       },
       { kind: 'reset-generations' },
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -28,7 +28,7 @@
 }
 
 /** Which generation an open call of an entry daemon reads. */
-export interface ReaderLink {
+export interface ReaderRegistration {
   readonly generationId: GenerationId;
   readonly stream: string;
   readonly link: number;
@@ -40,13 +40,13 @@
  */
 export interface StreamsState {
   readonly generations: Map<GenerationId, Generation>;
-  readonly readers: Map<CallId, ReaderLink>;
-  readonly calls: Map<string, CallId>;
+  readonly readers: Map<CallId, ReaderRegistration>;
+  readonly callIds: Map<string, CallId>;
   /**
    * Generations whose resume was refused, with the time of the refusal. Their entry daemon may have
    * started them elsewhere, so a start that arrives late must be refused as well.
    */
-  readonly refused: Map<GenerationId, Millis>;
+  readonly refusedResumes: Map<GenerationId, Millis>;
   /** Generations that the engine works on. */
   running: number;
 }
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -109,7 +109,7 @@
   readonly rpcUrl: string;
 }
 
-export interface ControlRecord {
+export interface RawControlRecord {
   readonly offset: Offset;
   readonly at: Millis;
   readonly body: unknown;
@@ -117,7 +117,7 @@
 
 export interface HeartbeatAnswer {
   readonly watermark: Offset;
-  readonly records: readonly ControlRecord[];
+  readonly records: readonly RawControlRecord[];
   readonly snapshot: unknown;
   readonly leaseMs: Millis;
 }
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -53,9 +53,9 @@
     phase: describePhase(states),
     limit: getLimit(engine.admission),
     load: { ...load, running, waiting: 0, ageMs: 0 },
-    prefixes: [...engine.sketch.prefixes],
-    prefixAgeMs: Math.max(0, now - engine.sketch.newestAt),
-    prefixGaps: engine.sketch.gaps,
+    prefixes: [...engine.cachedPrefixes.hashes],
+    prefixAgeMs: Math.max(0, now - engine.cachedPrefixes.newestAt),
+    prefixGaps: engine.cachedPrefixes.gaps,
     evidence: [...engine.evidence.values()],
   };
 };
@@ -103,7 +103,7 @@
  */
 export const getUnreadyReason = (states: EndpointStates): string | null => {
   if (states.rpc.phase !== 'accepting') return 'draining';
-  if (states.engine.reach !== 'reached') return 'the endpoint does not answer';
+  if (states.engine.reachability !== 'reached') return 'the endpoint does not answer';
   if (getLimit(states.engine.admission) === 0) return 'the endpoint is not confirmed';
   return states.heartbeats.lease.lease === 'held' ? null : 'no lease';
 };
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -133,7 +133,7 @@
       now,
       target: settings.target.kind,
       version: settings.target.version,
-      getAdmission: () => ({
+      getAdmissionSettings: () => ({
         ...DEFAULT_ADMISSION_SETTINGS,
         startLimit: settings.admission.startLimit,
         maxLimit: settings.admission.maxLimit,
