Reword the comments of service calls and the queue classes

'Outlives a restart', 'a full table makes no promise' and 'old nonces' now say that nonces are kept across restarts, that a full table cannot store a fence, and that expired entries are removed.

--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -21,7 +21,7 @@
 
 export interface CallsInputs {
   readonly now: () => Millis;
-  /** Outlives a restart of the child: a nonce that was started must never start again. */
+  /** Kept across restarts of the child, since a started nonce must never start again. */
   readonly nonces: NonceTable;
   readonly hashBody: (body: Uint8Array) => string;
 }
@@ -56,7 +56,7 @@
       return decision.failure;
     case 'fence':
     case 'kept':
-      return createFailure('may-have-run', 'internal', 'unexpected answer of the nonce table');
+      return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
   }
@@ -172,7 +172,8 @@
       };
       return [toFenceEffect(callId, decision.result), logged];
     }
-    // A full table makes no promise; the asking entry daemon must count the nonce as started.
+    // A full table cannot store the fence, so the requesting entry daemon must treat the nonce as
+    // started.
     case 'refuse':
     case 'run':
     case 'kept':
@@ -205,10 +206,10 @@
 };
 
 /**
- * Creates the decisions of the `calls` child: calls of the plain service and the nonces that make
- * them run at most once.
+ * Creates the logic of the `calls` child, which handles calls to a plain service. Nonces ensure that
+ * a call runs at most once.
  *
- * A restarted child fails the calls that it had running as `may-have-run`; the nonces stay.
+ * A restarted child fails the calls that were running as `may-have-run`; the nonces are kept.
  *
  * @param inputs - clock and the nonces of this incarnation
  * @returns the child's logic
--- a/packages/endpoint/calls/constants.ts
+++ b/packages/endpoint/calls/constants.ts
@@ -1,2 +1,2 @@
-/** Period in which old nonces and answers are dropped. */
+/** Interval between two removals of expired nonces and answers. */
 export const EXPIRY_INTERVAL_MS = 10_000;
--- a/packages/endpoint/classify.ts
+++ b/packages/endpoint/classify.ts
@@ -3,10 +3,11 @@
 import type { QueueClass } from '../core/loop/types.js';
 
 /**
- * Classifies an event for the bounded queue: new work is shed first, then the endpoint's reports.
+ * Returns the queue class of an event. When the queue fills up, new work is shed first, then the
+ * endpoint's load reports and cache events.
  *
  * @param event - event to queue
- * @returns its importance
+ * @returns the queue class
  */
 export const classifyEvent = (event: EndpointEvent): QueueClass => {
   switch (event.kind) {
