Reword the comments of the engine child and its client

'What is known of the endpoint, and how much it is given', 'late and gappy events tell them' and 'in doubt' now name the tracked state, the admission limit, lost cache events and a possible crash. The error of a truncated stream names the missing [DONE] event.

--- a/packages/endpoint/engine/constants.ts
+++ b/packages/endpoint/engine/constants.ts
@@ -1,14 +1,17 @@
-/** Time after which the engine's health page counts as unanswered. */
+/** Timeout of a request for the endpoint's health, load or cache events. */
 export const ENGINE_PROBE_TIMEOUT_MS = 1_000;
 
-/** Period of the health and load polls; the engine's own figures lag by more. */
+/** Interval of the health and load polls; the engine's own figures lag by more than this. */
 export const ENGINE_POLL_MS = 200;
 
-/** Connections to the endpoint: one for each running sequence and the polls. */
+/** Maximum number of connections to the endpoint: one per running sequence, plus the polls. */
 export const ENGINE_CONNECTIONS = 4_096;
 
-/** Prefixes that a heartbeat carries; 16 characters each keep it within its byte budget. */
+/**
+ * Maximum number of prefixes in a heartbeat. At 16 characters each, they keep the heartbeat within
+ * its byte budget.
+ */
 export const MAX_PREFIXES = 32;
 
-/** Routes and classes that evidence is kept for; further ones are added to `other`. */
+/** Maximum number of evidence rows, one per route and class; further pairs count as `other`. */
 export const MAX_EVIDENCE_ROWS = 256;
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -37,9 +37,9 @@
   readonly now: () => Millis;
   readonly target: 'model' | 'service';
   readonly version: VersionName;
-  /** Bounds of the limit; the accepted gap follows the targets in force. */
+  /** Returns the settings of the limit; the accepted gap follows from the class targets in force. */
   readonly getAdmissionSettings: () => AdmissionContext['settings'];
-  /** Length estimates, learned from this endpoint's own generations. */
+  /** Estimates of output lengths, learned from this endpoint's own generations. */
   readonly survival: SurvivalTable;
   readonly findTargets: (className: string, importance: string) => ClassTargets;
   readonly findThresholds: (className: string) => SlowThresholds | undefined;
@@ -92,7 +92,7 @@
 const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
   toStep({ ...state, load, loadMeasuredAt: inputs.now() - load.ageMs });
 
-/** The load page lags, so figures of an earlier start of the engine say nothing about this one. */
+/** The load page lags, so its figures may belong to an earlier start of the engine. */
 const getMemory = (state: EngineState, startId: string): EngineMemory => {
   const { load } = state;
   const isCurrent = load?.startId === startId;
@@ -132,7 +132,10 @@
   );
 };
 
-/** The next poll asks again; an immediate question would turn an outage into a busy loop. */
+/**
+ * Drops immediate health requests. The next poll sends one anyway, and an immediate request would
+ * turn an outage into a busy loop.
+ */
 const removeProbes = (step: EngineStep): EngineStep => ({
   state: step.state,
   effects: step.effects.filter(({ kind }) => kind !== 'fetch-health'),
@@ -227,7 +230,7 @@
   });
 };
 
-/** An error answer shows that the engine lives; only a broken connection puts that in doubt. */
+/** An error response shows that the engine is running; only a broken connection may be a crash. */
 const toEndReason = (result: WorkResult): 'finished' | 'cancelled' | 'engine-failed' => {
   switch (result) {
     case 'success':
@@ -295,7 +298,7 @@
   );
 };
 
-/** The data centre came back: the endpoint counts as cold, since its cache may be. */
+/** Restarts the ramp when the data centre is back in use, since the endpoint's cache may be cold. */
 const restartRamp = (state: EngineState, inputs: EngineInputs): EngineStep => {
   const admission = { ...createAdmissionState(inputs.now()), running: state.admission.running };
   return toStep({ ...state, admission }, { kind: 'fetch-health' });
@@ -332,10 +335,10 @@
 };
 
 /**
- * Creates the decisions of the `engine` child: what is known of the endpoint, and how much it is
- * given.
+ * Creates the logic of the `engine` child, which tracks the state of the endpoint and limits the
+ * work admitted to it.
  *
- * @param inputs - clock, settings and class targets
+ * @param inputs - clock, admission settings, length estimates and class targets
  * @returns the child's logic
  */
 export const createEngineLogic = (
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -53,19 +53,19 @@
 const getErrorCode = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
-const getErrorText = (error: unknown): string =>
+const getErrorMessage = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
 
 const toFailure = (error: unknown): Failure =>
   UNSENT_ERRORS.has(getErrorCode(error))
-    ? createFailure('not-run', 'endpoint-lost', `endpoint unreachable: ${getErrorText(error)}`)
-    : createFailure('may-have-run', 'endpoint-lost', `endpoint failed: ${getErrorText(error)}`);
+    ? createFailure('not-run', 'endpoint-lost', `endpoint unreachable: ${getErrorMessage(error)}`)
+    : createFailure('may-have-run', 'endpoint-lost', `endpoint failed: ${getErrorMessage(error)}`);
 
-const toStatusFailure = (status: number, text: string): Failure => {
-  const detail = `endpoint answered ${status.toString()}: ${text.slice(0, 500)}`;
-  if (status === 429) return createFailure('not-run', 'overloaded', detail);
-  if (status >= 400 && status < 500) return createFailure('not-run', 'bad-request', detail);
-  return createFailure('may-have-run', 'endpoint-failed', detail);
+const toStatusFailure = (status: number, body: string): Failure => {
+  const message = `endpoint answered ${status.toString()}: ${body.slice(0, 500)}`;
+  if (status === 429) return createFailure('not-run', 'overloaded', message);
+  if (status >= 400 && status < 500) return createFailure('not-run', 'bad-request', message);
+  return createFailure('may-have-run', 'endpoint-failed', message);
 };
 
 /** Suspends reading from the engine's connection until it is resumed. */
@@ -92,7 +92,7 @@
   readonly fetchHealth: () => void;
   readonly fetchLoad: () => void;
   readonly fetchCacheEvents: (from: number) => void;
-  /** Starts a generation; engines run a lower priority number first. */
+  /** Starts a generation; the engine serves lower priority numbers first. */
   readonly startGeneration: (
     generationId: GenerationId,
     call: GenerateCall,
@@ -106,11 +106,11 @@
 }
 
 /**
- * Creates the adapter to the endpoint's HTTP interface. Each completion becomes an event.
+ * Creates the adapter to the endpoint's HTTP interface. Each completion is posted as an event.
  *
  * @param baseUrl - address of the engine or service
- * @param clock - time of the probes
- * @param post - receives the completions
+ * @param clock - clock that timestamps the health requests
+ * @param post - receives the events
  * @returns the adapter
  */
 export const createEngineClient = (
@@ -143,7 +143,7 @@
         );
       },
       (error: unknown) => {
-        post({ to: 'engine', kind: 'health-failed', reason: getErrorText(error) });
+        post({ to: 'engine', kind: 'health-failed', reason: getErrorMessage(error) });
       },
     );
   };
@@ -155,7 +155,7 @@
         if (parsed.success) post({ to: 'engine', kind: 'load-received', load: parsed.data });
       },
       (error: unknown) => {
-        post({ to: 'engine', kind: 'health-failed', reason: getErrorText(error) });
+        post({ to: 'engine', kind: 'health-failed', reason: getErrorMessage(error) });
       },
     );
   };
@@ -167,7 +167,7 @@
         if (!parsed.success) return;
         post({ to: 'engine', kind: 'cache-events-received', ...parsed.data });
       },
-      // Cache events are hints that arrive late anyway; the next poll asks again.
+      // Cache events are hints that arrive late anyway; the next poll requests them again.
       () => undefined,
     );
   };
@@ -202,7 +202,7 @@
       if (state.pause !== null) await state.pause.resumed;
     }
     if (progress.state === 'open') {
-      throw new Error('the engine ended the stream before its end mark');
+      throw new Error('the engine ended the stream without a [DONE] event');
     }
     post({ to: 'streams', kind: 'engine-finished', generationId, usage: progress.usage });
   };
@@ -249,24 +249,24 @@
     }
   };
 
-  const toAnswer = async (answer: Dispatcher.ResponseData): Promise<ServiceAnswer> => {
-    const body = new Uint8Array(await answer.body.arrayBuffer());
-    const type = answer.headers['content-type'];
+  const readAnswer = async (response: Dispatcher.ResponseData): Promise<ServiceAnswer> => {
+    const body = new Uint8Array(await response.body.arrayBuffer());
+    const type = response.headers['content-type'];
     const headers = typeof type === 'string' ? [{ name: 'content-type', value: type }] : [];
-    return { status: answer.statusCode, headers, body };
+    return { status: response.statusCode, headers, body };
   };
 
-  const callOnce = async (call: ServiceCall): Promise<void> => {
+  const runCall = async (call: ServiceCall): Promise<void> => {
     try {
-      const answer = await request(`${baseUrl}${call.path}`, {
+      const response = await request(`${baseUrl}${call.path}`, {
         method: call.method as Dispatcher.HttpMethod,
         dispatcher: agent,
         signal: AbortSignal.timeout(Math.max(1, Math.ceil(call.deadlineMs))),
         headers: Object.fromEntries(call.headers.map(({ name, value }) => [name, value])),
         body: call.body.length > 0 ? call.body : null,
       });
-      const complete = await toAnswer(answer);
-      post({ to: 'calls', kind: 'service-answered', callId: call.callId, answer: complete });
+      const answer = await readAnswer(response);
+      post({ to: 'calls', kind: 'service-answered', callId: call.callId, answer });
     } catch (error) {
       post({
         to: 'calls',
@@ -298,7 +298,7 @@
       state.pause?.resume();
       state.pause = flow === 'paused' ? createReadPause() : null;
     },
-    callService: (call) => void callOnce(call),
+    callService: (call) => void runCall(call),
     close: () => agent.destroy(),
   };
 };
--- a/packages/endpoint/engine/evidence.ts
+++ b/packages/endpoint/engine/evidence.ts
@@ -15,7 +15,7 @@
   tokenGaps: 0,
 });
 
-/** Targets of a class that decide whether an answer counts as slow. */
+/** Targets of a class; an answer that exceeds one of them counts as slow. */
 export interface SlowThresholds {
   readonly firstTokenMs: Millis;
   readonly tokenGapMs: Millis;
@@ -31,9 +31,9 @@
  * Adds one outcome to the cumulative evidence of this process.
  *
  * @param evidence - counters by route and class
- * @param outcome - how one piece of work ended
- * @param thresholds - targets of its class, if they are known
- * @returns the counters with the outcome
+ * @param outcome - outcome of one generation or call
+ * @param thresholds - targets of its class, or undefined when the class is not configured
+ * @returns the updated counters
  */
 export const addOutcome = (
   evidence: ReadonlyMap<string, EvidenceCounters>,
@@ -41,20 +41,20 @@
   thresholds: SlowThresholds | undefined,
 ): ReadonlyMap<string, EvidenceCounters> => {
   if (outcome.result === 'cancelled') return evidence;
-  const wanted = `${outcome.route}\n${outcome.className}`;
-  const fits = evidence.has(wanted) || evidence.size < MAX_EVIDENCE_ROWS;
-  const [key, route, className] = fits
-    ? [wanted, outcome.route, outcome.className]
+  const ownKey = `${outcome.route}\n${outcome.className}`;
+  const hasOwnRow = evidence.has(ownKey) || evidence.size < MAX_EVIDENCE_ROWS;
+  const [key, route, className] = hasOwnRow
+    ? [ownKey, outcome.route, outcome.className]
     : [OTHER, OTHER, OTHER];
-  const known = evidence.get(key) ?? createCounters(route, className);
+  const previous = evidence.get(key) ?? createCounters(route, className);
   const counters: EvidenceCounters = {
-    ...known,
-    successes: known.successes + (outcome.result === 'success' ? 1 : 0),
-    failures: known.failures + (outcome.result === 'success' ? 0 : 1),
-    slow: known.slow + (isSlow(outcome, thresholds) ? 1 : 0),
-    firstTokenMsSum: known.firstTokenMsSum + (outcome.firstTokenMs ?? 0),
-    tokenGapMsSum: known.tokenGapMsSum + outcome.tokenGapMsSum,
-    tokenGaps: known.tokenGaps + outcome.tokenGaps,
+    ...previous,
+    successes: previous.successes + (outcome.result === 'success' ? 1 : 0),
+    failures: previous.failures + (outcome.result === 'success' ? 0 : 1),
+    slow: previous.slow + (isSlow(outcome, thresholds) ? 1 : 0),
+    firstTokenMsSum: previous.firstTokenMsSum + (outcome.firstTokenMs ?? 0),
+    tokenGapMsSum: previous.tokenGapMsSum + outcome.tokenGapMsSum,
+    tokenGaps: previous.tokenGaps + outcome.tokenGaps,
   };
   return new Map(evidence).set(key, counters);
 };
--- a/packages/endpoint/engine/prefixSketch.ts
+++ b/packages/endpoint/engine/prefixSketch.ts
@@ -3,9 +3,9 @@
 import type { CacheEvent } from '../types.js';
 
 /**
- * Creates the cached of an engine whose cache is unknown.
+ * Creates the cached prefixes of an engine whose cache contents are unknown.
  *
- * @returns an empty cached
+ * @returns an empty set of prefixes
  */
 export const createCachedPrefixes = (): CachedPrefixes => ({
   hashes: new Set(),
@@ -15,12 +15,13 @@
 });
 
 /**
- * Applies cache events. A jump in the sequence counts as a gap and nothing is guessed about it.
+ * Applies cache events. Skipped sequence numbers are counted as lost events; what those events did
+ * to the cache is not guessed.
  *
- * @param cached - cached so far
- * @param events - events in the order of their sequence
- * @param next - first sequence number to ask for next
- * @returns the next cached
+ * @param cached - cached prefixes before the events
+ * @param events - events in the order of their sequence numbers
+ * @param next - sequence number from which the next request reads
+ * @returns the updated cached prefixes
  */
 export const applyCacheEvents = (
   cached: CachedPrefixes,
@@ -37,6 +38,6 @@
     prefixes.delete(event.prefix);
     if (event.kind === 'stored') prefixes.add(event.prefix);
   }
-  const kept = [...prefixes].slice(-MAX_PREFIXES);
-  return { hashes: new Set(kept), next: Math.max(next, expected), gaps, newestAt };
+  const newest = [...prefixes].slice(-MAX_PREFIXES);
+  return { hashes: new Set(newest), next: Math.max(next, expected), gaps, newestAt };
 };
--- a/packages/endpoint/engine/types.ts
+++ b/packages/endpoint/engine/types.ts
@@ -2,25 +2,32 @@
 import type { AdmissionState } from '../../decisions/admission/types.js';
 import type { EngineHealth, EngineLoad, EvidenceCounters, WorkId } from '../types.js';
 
-/** Cached prompt prefixes as the engine's late and gappy events tell them. */
+/**
+ * Prompt prefixes in the engine's cache according to its cache events, which arrive late and may be
+ * incomplete.
+ */
 export interface CachedPrefixes {
   /** Hashes in the order in which they were stored, oldest first. */
   readonly hashes: ReadonlySet<string>;
+  /** Sequence number of the next cache event to request. */
   readonly next: number;
-  /** Events known to be lost. */
+  /** Number of cache events known to be lost. */
   readonly gaps: number;
   readonly newestAt: Millis;
 }
 
-/** What the endpoint daemon knows of its endpoint; rebuilt from the endpoint's own pages. */
+/** State of the endpoint as its daemon observes it; rebuilt from the endpoint's own pages. */
 export interface EngineState {
   readonly reachability: 'unknown' | 'reached' | 'unreachable';
   readonly health: EngineHealth | null;
   readonly load: EngineLoad | null;
-  /** Instant by the own clock that the load figures describe. */
+  /** Instant, by this process's clock, at which the load figures were measured. */
   readonly loadMeasuredAt: Millis;
   readonly admission: AdmissionState;
-  /** Tokens generated so far; updated in place, since every generation reports several times a second. */
+  /**
+   * Tokens generated so far by each running generation; updated in place, since every generation
+   * reports several times a second.
+   */
   readonly generatedTokens: Map<WorkId, number>;
   readonly cachedPrefixes: CachedPrefixes;
   /** Cumulative counters by route and class. */
