Reword the comments of heartbeats and the lease

'Takes over', 'old sequence falls behind', 'work let in by the lease must know it' and 'what every heartbeat says' now state what is applied, sent and renewed, and in which order. The ticks name the pause limit.

--- a/packages/endpoint/heartbeats/configuration.ts
+++ b/packages/endpoint/heartbeats/configuration.ts
@@ -5,7 +5,7 @@
 import { parseControlRecord, parseSnapshot } from '../../decisions/configuration/records.js';
 import type { ConfigurationState, RawRecord } from '../../decisions/configuration/types.js';
 
-/** Result of taking over what a heartbeat's answer carries. */
+/** Result of applying the configuration in a heartbeat's answer. */
 export interface ConfigurationUpdate {
   readonly configuration: ConfigurationState;
   readonly effects: readonly EndpointEffect[];
@@ -30,7 +30,7 @@
 
 const applyReceivedRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
   const { configuration, effects } = update;
-  // Records after a gap wait for the next answer, which starts at this process's own offset.
+  // Records after a gap are skipped; the next answer starts at this process's own offset.
   if (raw.offset !== configuration.nextOffset) return update;
   const parsed = parseControlRecord(raw.body);
   const record = parsed.isOk() ? parsed.value : null;
@@ -53,11 +53,11 @@
 };
 
 /**
- * Takes over the part of the configuration that a heartbeat's answer carries.
+ * Applies the configuration snapshot and the records in a heartbeat's answer.
  *
- * @param state - own configuration
+ * @param state - configuration of this process
  * @param answer - answer of an entry daemon, which may be behind this process
- * @returns the next configuration; its offset never goes back
+ * @returns the next configuration, whose offset never decreases, and the events to log
  */
 export const applyHeartbeatAnswer = (
   state: ConfigurationState,
--- a/packages/endpoint/heartbeats/constants.ts
+++ b/packages/endpoint/heartbeats/constants.ts
@@ -1,2 +1,2 @@
-/** Period of looking at the clock; the lease takes a silence of 500 ms for a pause of the process. */
+/** Interval of the lease's ticks; the lease treats 500 ms without an event as a process pause. */
 export const LEASE_TICK_MS = 125;
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -18,7 +18,7 @@
 } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
 import type { EndpointEvent, HeartbeatAnswer, HeartbeatContent } from '../types.js';
 
-/** What every heartbeat of this process says about its identity. */
+/** Identity of this process, sent in every heartbeat. */
 export interface HeartbeatIdentity {
   readonly endpoint: string;
   readonly instance: string;
@@ -31,6 +31,7 @@
   readonly httpUrl: string;
 }
 
+/** Adapter that sends heartbeats to entry daemons. */
 export interface EntryClient {
   readonly sendHeartbeat: (to: string, url: string, content: HeartbeatContent) => void;
   readonly close: () => void;
@@ -63,16 +64,16 @@
     evidence: content.evidence.map((counters) => ({ ...counters })),
   });
 
-/** A record with damaged JSON keeps its place, so that the records around it are taken over. */
+/** A record with malformed JSON keeps its position, so that the records around it are applied. */
 const decodeRecord = ({ offset, at, body }: LogRecord): RawRecord => ({
   offset,
   at,
   body: parseJsonText(body).unwrapOr(undefined),
 });
 
-const decodeSnapshot = (text: string): unknown => {
-  if (text === '') return null;
-  return parseJsonText(text).unwrapOr(undefined);
+const decodeSnapshot = (json: string): unknown => {
+  if (json === '') return null;
+  return parseJsonText(json).unwrapOr(undefined);
 };
 
 const decodeAnswer = (message: HeartbeatResponse): HeartbeatAnswer => {
@@ -97,9 +98,9 @@
 /**
  * Creates the adapter that sends heartbeats to entry daemons.
  *
- * @param getIdentity - identity of this process, known once it listens
- * @param timeoutMs - time after which a heartbeat counts as lost
- * @param post - receives the answers
+ * @param getIdentity - returns the identity of this process, which is known once it listens
+ * @param timeoutMs - time after which a heartbeat counts as lost, in milliseconds
+ * @param post - receives the answers and failures as events
  * @returns the adapter
  */
 export const createEntryClient = (
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -36,7 +36,7 @@
   readonly subsetSize: number;
   readonly hash: TextHash;
   readonly getEntries: () => readonly ListedEntry[];
-  /** What the next heartbeat says, without its sequence number. */
+  /** Returns the content of the next heartbeat except its sequence number and offset. */
   readonly describeLoad: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
 }
 
@@ -105,7 +105,7 @@
 
 const sendHeartbeats = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
   const now = inputs.now();
-  // Counted by uptime, so that a restarted child does not fall behind its earlier heartbeats.
+  // Derived from the uptime, so that a restarted child does not repeat earlier sequence numbers.
   const sequence = Math.max(state.sequence + 1, Math.ceil(now - inputs.startedAt));
   const entries = listTargets(inputs);
   const targets = entries.map(({ id }) => id);
@@ -138,7 +138,7 @@
   return toStep(step.state, ...update.effects, ...step.effects);
 };
 
-const decide = (
+const decideHeartbeats = (
   state: HeartbeatsState,
   event: HeartbeatsEvent,
   inputs: HeartbeatsInputs,
@@ -156,11 +156,12 @@
       return sendHeartbeats(state, inputs);
     case 'tick': {
       const step = applyLease(state, { kind: 'tick', now: inputs.now() });
-      const again: EndpointEffect = { kind: 'schedule', delayMs: LEASE_TICK_MS, event };
-      return toStep(step.state, ...step.effects, again);
+      const nextTick: EndpointEffect = { kind: 'schedule', delayMs: LEASE_TICK_MS, event };
+      return toStep(step.state, ...step.effects, nextTick);
     }
     case 'acknowledged': {
-      // The configuration counts before the lease: work let in by the lease must know it.
+      // Applied before the lease is renewed: work accepted under the lease must use the newest
+      // configuration.
       const configured = applyConfiguration(state, event.answer, inputs);
       const { from, sequence } = event;
       const now = inputs.now();
@@ -176,8 +177,8 @@
 };
 
 /**
- * Creates the decisions of the `heartbeats` child: the lease of this daemon and what it tells the
- * entry daemons.
+ * Creates the logic of the `heartbeats` child, which sends heartbeats to entry daemons and keeps
+ * this daemon's lease and configuration up to date.
  *
  * @param inputs - clock, identity and views of the other children
  * @returns the child's logic
@@ -198,5 +199,5 @@
       { kind: 'post', event: { to: 'heartbeats', kind: 'tick' } },
     );
   },
-  decide: (state, event) => decide(state, event, inputs),
+  decide: (state, event) => decideHeartbeats(state, event, inputs),
 });
--- a/packages/endpoint/heartbeats/types.ts
+++ b/packages/endpoint/heartbeats/types.ts
@@ -1,9 +1,10 @@
 import type { ConfigurationState, ConfigurationView } from '../../decisions/configuration/types.js';
 import type { LeaseState } from '../../decisions/membership/leaseTypes.js';
 
-/** Lease, sequence of the heartbeats, and the configuration that their answers bring. */
+/** Lease of this daemon, and the configuration received in the answers to its heartbeats. */
 export interface HeartbeatsState {
   readonly lease: LeaseState;
+  /** Sequence number of the newest heartbeat. */
   readonly sequence: number;
   readonly configuration: ConfigurationState;
   readonly view: ConfigurationView;
