--- a/packages/endpoint/main.ts
+++ b/packages/endpoint/main.ts
@@ -2,7 +2,7 @@
 import type { EndReason } from './wiring.js';
 import type { EndpointSettings } from '../settings/types.js';
 
-/** Time for connections to close once nothing runs any more. */
+/** Maximum time for closing the connections once all work has ended. */
 const CLOSE_TIMEOUT_MS = 3_000;
 
 const waitFor = (durationMs: number): Promise<void> =>
@@ -13,16 +13,16 @@
 /** A daemon that serves until it is stopped. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
-  /** Drains and ends; resolves when nothing is left or the drain time is over. */
+  /** Drains and stops the daemon; resolves when no work is left or the drain time is over. */
   readonly stop: () => Promise<void>;
-  /** Resolves when the daemon ended, for whatever reason. */
+  /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
 }
 
 /**
  * Starts an endpoint daemon in this process.
  *
- * @param settings - checked settings
+ * @param settings - validated settings
  * @returns the running daemon
  */
 export const startEndpointDaemon = async (settings: EndpointSettings): Promise<RunningDaemon> => {
@@ -48,7 +48,7 @@
       http.close(),
       rpc.close(),
     ]);
-    // Nothing runs any more, so a peer that keeps a connection open must not delay the exit.
+    // All work has ended, so a peer that keeps a connection open must not delay the exit.
     await Promise.race([closed, waitFor(CLOSE_TIMEOUT_MS)]);
     return reason;
   });
--- a/packages/endpoint/platform/constants.ts
+++ b/packages/endpoint/platform/constants.ts
@@ -1,5 +1,5 @@
-/** Period of reading the instance list; it lags by seconds anyway. */
+/** Interval between two reads of the instance list, which lags by seconds anyway. */
 export const LIST_POLL_MS = 1_000;
 
-/** Time limit of one read of the list. */
+/** Timeout of one read of the instance list. */
 export const LIST_TIMEOUT_MS = 2_000;
--- a/packages/endpoint/platform/listAdapter.ts
+++ b/packages/endpoint/platform/listAdapter.ts
@@ -4,7 +4,7 @@
 
 /** Adapter to the instance list. */
 export interface ListAdapter {
-  /** Starts one read; its answer becomes an event. */
+  /** Starts one read, whose result is posted as an event. */
   readonly fetchList: () => void;
   readonly close: () => Promise<void>;
 }
@@ -13,8 +13,8 @@
  * Creates the adapter that reads the instance list.
  *
  * @param listUrl - base URL of the list
- * @param instance - instance of this process
- * @param post - receives the answers
+ * @param instance - id of this process's instance
+ * @param post - receives the results as events
  * @returns the adapter
  */
 export const createListAdapter = (
--- a/packages/endpoint/platform/platform.ts
+++ b/packages/endpoint/platform/platform.ts
@@ -5,11 +5,12 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { EndpointEffect, ListedEntry, PlatformEvent } from '../types.js';
 
-/** What the platform's instance list says. */
+/** Newest contents of the platform's instance list. */
 export interface PlatformState {
   readonly entries: readonly ListedEntry[];
+  /** Whether the last read of the list succeeded. */
   readonly list: 'up' | 'out';
-  /** Whether the list shows this instance as leaving. */
+  /** State of this instance in the list. */
   readonly self: 'live' | 'leaving' | 'absent';
 }
 
@@ -35,8 +36,8 @@
 };
 
 /**
- * Creates the decisions of the `platform` child. Known entry daemons are kept while the list is
- * out, since heartbeats tell which of them live.
+ * Creates the logic of the `platform` child, which reads the instance list. Known entry daemons are
+ * kept while the list is unavailable, since heartbeats show which of them are running.
  *
  * @returns the child's logic
  */
