Reword the comments and the shutdown test of the gate and RPC server

'Let in', 'on its way out', 'told at once' and 'work is cut' now say that work is accepted, refused or interrupted, and that entry daemons are notified. Two failure messages name the restart and the lost request.

--- a/packages/endpoint/rpc/constants.ts
+++ b/packages/endpoint/rpc/constants.ts
@@ -1,2 +1,2 @@
-/** Period in which a draining process looks whether its work has ended. */
+/** Interval at which a draining process checks whether its work has ended. */
 export const DRAIN_CHECK_MS = 100;
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -12,17 +12,18 @@
 import type { LeaseState } from '../../decisions/membership/leaseTypes.js';
 import type { EndpointEffect, GenerateCall, RpcEvent, ServiceCall } from '../types.js';
 
+/** Phase of the daemon; new work is accepted only in the first one. */
 export type GateState =
   | { readonly phase: 'accepting' }
   | { readonly phase: 'draining'; readonly since: Millis }
   | { readonly phase: 'ended' };
 
-/** What the gate knows of the other children. */
+/** Clock and drain time, and views of the other children. */
 export interface GateInputs {
   readonly now: () => Millis;
   readonly drainMs: Millis;
   readonly getLease: () => LeaseState;
-  /** Streams and calls that are not at their end. */
+  /** Counts the streams and calls that have not ended. */
   readonly countOpenWork: () => number;
 }
 
@@ -48,8 +49,8 @@
   if (format !== null) return format;
   if (call.mode === 'start') return checkStart(state, call.incarnation, inputs);
   if (call.incarnation === inputs.getLease().incarnation) return null;
-  // A generation of an earlier incarnation ran and is lost.
-  return createFailure('may-have-run', 'stream-lost', 'the endpoint daemon started again');
+  // A generation of an earlier incarnation ran, and its buffer is lost.
+  return createFailure('may-have-run', 'stream-lost', 'the endpoint daemon restarted');
 };
 
 const handleGenerate = (
@@ -59,7 +60,7 @@
 ): EndpointEffect => {
   const failure = checkGenerate(state, call, inputs);
   if (failure !== null) return { kind: 'send-failure', callId: call.callId, failure };
-  // Only a start needs admission; a resume reads what is buffered.
+  // Only a start needs admission; a resume reads from the buffer.
   return call.mode === 'start'
     ? { kind: 'post', event: { to: 'engine', kind: 'admit-generation', call } }
     : { kind: 'post', event: { to: 'streams', kind: 'open', call } };
@@ -76,7 +77,7 @@
   return toStep<GateState, EndpointEffect>(
     { phase: 'draining', since: now },
     { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
-    // The change is told at once; the next regular heartbeat may be half a second away.
+    // Entry daemons are notified at once; the next regular heartbeat may be half a second away.
     { kind: 'post', event: { to: 'heartbeats', kind: 'beat' } },
     { kind: 'schedule', delayMs: DRAIN_CHECK_MS, event: { to: 'rpc', kind: 'drain-checked' } },
   );
@@ -97,9 +98,10 @@
 };
 
 /**
- * Creates the decisions of the `rpc` child: which calls of entry daemons are let in, and the drain.
+ * Creates the logic of the `rpc` child, which accepts or refuses the calls of entry daemons and
+ * drains the process.
  *
- * @param inputs - identity and views of the other children
+ * @param inputs - clock, drain time and views of the other children
  * @returns the child's logic
  */
 export const createGateLogic = (
--- a/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
+++ b/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
@@ -11,14 +11,17 @@
 
 const SEED = 909;
 const RUNS = 1_500;
-const LONGEST_WORK_MS = 20_000;
-const END_AT_MS = 40_000;
+const MAX_WORK_MS = 20_000;
+const SIMULATION_MS = 40_000;
 
-const HELD: readonly LeaseEvent[] = [
+const LEASE_EVENTS: readonly LeaseEvent[] = [
   { kind: 'heartbeat-sent', sequence: 1, targets: ['a'], now: 0 },
   { kind: 'heartbeat-acknowledged', sequence: 1, from: 'a', now: 0 },
 ];
-const LEASE = HELD.reduce((state, event) => decideLease(state, event).state, initLease('i'));
+const LEASE = LEASE_EVENTS.reduce(
+  (state, event) => decideLease(state, event).state,
+  initLease('i'),
+);
 
 const START = {
   callId: 'c',
@@ -27,27 +30,27 @@
   incarnation: 'i',
 } as unknown as GenerateCall;
 
-interface Work {
+interface WorkItem {
   readonly at: number;
   readonly durationMs: number;
 }
 
-/** Step of the gate, or a variant of it. */
+/** Runs one step of the gate, unchanged or with one of its checks disabled. */
 type DecideGate = (
   state: GateState,
   event: RpcEvent,
   decide: (state: GateState, event: RpcEvent) => Step<GateState, EndpointEffect>,
 ) => Step<GateState, EndpointEffect>;
 
-/** Counts the accepted pieces of work that are not finished when the process ends. */
-const countCutOff = (
-  works: readonly Work[],
-  leaveAt: number,
+/** Counts the accepted work items that have not finished when the process ends. */
+const countInterrupted = (
+  workItems: readonly WorkItem[],
+  drainAt: number,
   drainMs: number,
   decideGate: DecideGate,
 ): number => {
   let now = 0;
-  let cutOff = 0;
+  let interrupted = 0;
   const ends: number[] = [];
   const countOpenWork = (): number => ends.filter((end) => end > now).length;
   const inputs = { now: () => now, drainMs, getLease: () => LEASE, countOpenWork };
@@ -57,59 +60,60 @@
     const step = decideGate(state, event, logic.decide);
     state = step.state;
     if (step.effects.some(({ kind }) => kind === 'end-process')) {
-      cutOff += countOpenWork();
+      interrupted += countOpenWork();
     }
     return step.effects;
   };
-  for (now = 0; now < END_AT_MS; now += DRAIN_CHECK_MS) {
-    if (now === leaveAt) apply({ to: 'rpc', kind: 'drain-started', reason: 'test' });
+  for (now = 0; now < SIMULATION_MS; now += DRAIN_CHECK_MS) {
+    if (now === drainAt) apply({ to: 'rpc', kind: 'drain-started', reason: 'test' });
     apply({ to: 'rpc', kind: 'drain-checked' });
-    for (const work of works.filter(({ at }) => at === now)) {
+    for (const item of workItems.filter(({ at }) => at === now)) {
       const effects = apply({ to: 'rpc', kind: 'generate-requested', call: START });
       if (!effects.some(({ kind }) => kind === 'post')) continue;
-      ends.push(now + work.durationMs);
-      // Work that a process accepts on its way out is lost.
-      if (state.phase === 'ended') cutOff += 1;
+      ends.push(now + item.durationMs);
+      // Work accepted after the process has ended is lost.
+      if (state.phase === 'ended') interrupted += 1;
     }
   }
-  return cutOff;
+  return interrupted;
 };
 
 const anyTime = fc.nat({ max: 19 }).map((tick) => tick * DRAIN_CHECK_MS);
 
-const anyWorks = fc.array(
-  fc.record({ at: anyTime, durationMs: fc.integer({ min: 1, max: LONGEST_WORK_MS }) }),
+const anyWorkItems = fc.array(
+  fc.record({ at: anyTime, durationMs: fc.integer({ min: 1, max: MAX_WORK_MS }) }),
   { maxLength: 20 },
 );
 
 const buildProperty = (drainMs: number, decideGate: DecideGate) =>
   fc.property(
-    anyWorks,
+    anyWorkItems,
     anyTime,
-    (works, leaveAt) => countCutOff(works, leaveAt, drainMs, decideGate) === 0,
+    (workItems, drainAt) => countInterrupted(workItems, drainAt, drainMs, decideGate) === 0,
   );
 
-const decideAsIs: DecideGate = (state, event, decide) => decide(state, event);
+const decideUnchanged: DecideGate = (state, event, decide) => decide(state, event);
 
-// Guards against an endpoint daemon that goes before its work has ended, or accepts work on its way
-// out (P9). Work that outlasts the drain time is outside of the promise's reach here.
+// Guards against an endpoint daemon that stops before its accepted work has ended, or that accepts
+// work while it shuts down (P9). The promise does not cover work that outlasts the drain time.
 test('P9: an endpoint daemon that shuts down finishes what it accepted', (t) => {
-  const property = buildProperty(LONGEST_WORK_MS + 1, decideAsIs);
+  const property = buildProperty(MAX_WORK_MS + 1, decideUnchanged);
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
-/** Lets work in whatever the phase. */
-const decideOpenGate: DecideGate = (state, event, decide) => {
+/** Accepts new work in every phase. */
+const decideWithoutRefusal: DecideGate = (state, event, decide) => {
   if (event.kind !== 'generate-requested') return decide(state, event);
   return { ...decide({ phase: 'accepting' }, event), state };
 };
 
-// Guards against a test that cannot fail: without the wait, or without the refusal, work is cut.
-test('P9: work is cut off without the wait for its end or without the refusal of new work', (t) => {
+// Guards against a property that cannot fail: a gate that does not wait for running work, or does
+// not refuse new work, must violate it.
+test('P9: a gate without the drain wait or without the refusal of new work interrupts work', (t) => {
   for (const property of [
-    buildProperty(0, decideAsIs),
-    buildProperty(LONGEST_WORK_MS + 1, decideOpenGate),
+    buildProperty(0, decideUnchanged),
+    buildProperty(MAX_WORK_MS + 1, decideWithoutRefusal),
   ]) {
     t.true(fc.check(property, { seed: SEED, numRuns: RUNS }).failed);
   }
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -39,8 +39,8 @@
 
 const IMPORTANCES: readonly Importance[] = ['critical', 'standard', 'background'];
 
-const parseImportance = (text: string): Importance =>
-  IMPORTANCES.find((known) => known === text) ?? 'standard';
+const parseImportance = (value: string): Importance =>
+  IMPORTANCES.find((known) => known === value) ?? 'standard';
 
 const toGenerateCall = (callId: CallId, message: GenerateRequest): GenerateCall => ({
   callId,
@@ -70,13 +70,16 @@
     body: answer.body,
   });
 
-/** These answers carry no failure, so the error of the call says what is wrong. */
+/**
+ * Throws for an unknown format. The responses of these calls have no field for a failure, so it is
+ * returned as the error of the call.
+ */
 const assertMessageFormat = (format: number): void => {
   const failure = checkMessageFormat(format);
   if (failure !== null) throw new ConnectError(failure.message, Code.InvalidArgument);
 };
 
-/** Adapter between the loop and the entry daemons' calls. */
+/** Adapter between the loop and the RPC calls of entry daemons. */
 export interface RpcServer {
   readonly sendStarted: (callId: CallId) => void;
   readonly sendChunks: (callId: CallId, firstNumber: number, choices: readonly string[]) => void;
@@ -90,14 +93,15 @@
   readonly replyAnswer: (callId: CallId, answer: ServiceAnswer) => void;
   readonly replyFailure: (callId: CallId, failure: Failure) => void;
   readonly replyFence: (callId: CallId, result: FenceResult, answer: ServiceAnswer | null) => void;
-  /** Fails what an earlier state of a restarted child had open. */
+  /** Fails the open streams after a restart of the child that held their state. */
   readonly failReaders: () => void;
+  /** Fails the open service calls after a restart of the child that held their state. */
   readonly failCalls: () => void;
   readonly listen: (host: string, port: number) => Promise<string>;
   readonly close: () => Promise<void>;
 }
 
-const LOST_STATE_MESSAGE = 'the endpoint daemon lost its state';
+const LOST_STATE_MESSAGE = 'the endpoint daemon lost the state of the request';
 const LOST_STREAM = createFailure('may-have-run', 'stream-lost', LOST_STATE_MESSAGE);
 const LOST_CALL = createFailure('may-have-run', 'endpoint-failed', LOST_STATE_MESSAGE);
 const SHED_FAILURE = createFailure('not-run', 'overloaded', 'the event queue is full');
@@ -105,8 +109,8 @@
 /**
  * Creates the server of `EndpointService`.
  *
- * @param incarnation - start identity of this process
- * @param post - queues an event; `shed` when the queue is full
+ * @param incarnation - incarnation of this process
+ * @param post - queues an event; returns `shed` when the queue is full
  * @returns the server, not yet listening
  */
 export const createRpcServer = (
@@ -130,7 +134,7 @@
         yield event;
         if (event.event.case !== 'chunks') continue;
         const { firstNumber, choices } = event.event.value;
-        // The transport has taken the message, so the buffer may send and drop more.
+        // The transport has accepted the message, so the buffer may drop these chunks and send more.
         const nextNumber = firstNumber + choices.length;
         post({ to: 'streams', kind: 'reader-took', callId, nextNumber });
       }
@@ -140,11 +144,11 @@
     }
   }
 
-  const push = (callId: CallId, event: GenerateEvent['event'], last: 'more' | 'last'): void => {
+  const push = (callId: CallId, event: GenerateEvent['event'], position: 'more' | 'last'): void => {
     const queue = readers.get(callId);
     if (queue === undefined) return;
     queue.push(create(GenerateEventSchema, { event }));
-    if (last === 'more') return;
+    if (position === 'more') return;
     readers.delete(callId);
     queue.end();
   };
@@ -237,9 +241,9 @@
     replyFence: (callId, result, answer) => {
       const resolve = fences.get(callId);
       fences.delete(callId);
-      const isSent = answer !== null && checkBodySize(answer.body, 'answer', 'ran') === null;
-      const stored = isSent ? { answer: toAnswerMessage(answer) } : {};
-      resolve?.(create(FenceResponseSchema, { result, ...stored }));
+      const isSendable = answer !== null && checkBodySize(answer.body, 'answer', 'ran') === null;
+      const optional = isSendable ? { answer: toAnswerMessage(answer) } : {};
+      resolve?.(create(FenceResponseSchema, { result, ...optional }));
     },
     failReaders: () => {
       for (const callId of [...readers.keys()]) sendFailure(callId, LOST_STREAM);
