Reword the comments of streams and recorded answers

'Takes the right to start', 'kept whole for a repeated key', 'now and then only' and 'takes off the limit again' now say that a nonce is registered, an answer retained, progress reported at intervals and an admission released. The digest is described as a hash chain.

--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -13,7 +13,7 @@
 
 export interface AnswerRecordInputs {
   readonly now: () => Millis;
-  /** The same table as that of the plain service's calls, so that both are fenced alike. */
+  /** Table shared with the calls to plain services, so that both are fenced in the same way. */
   readonly nonces: NonceTable;
   readonly hashBody: (body: Uint8Array) => string;
 }
@@ -22,11 +22,11 @@
 const STATUS_FAILED = 502;
 
 /**
- * Takes the right to start a generation that must run at most once.
+ * Registers the start of a generation that must run at most once.
  *
- * @param call - request to start it
+ * @param call - request to start the generation
  * @param inputs - clock and nonces
- * @returns null when it may start, else why not
+ * @returns null when the generation may start, otherwise the failure
  */
 export const startNonce = (call: GenerateCall, inputs: AnswerRecordInputs): Failure | null => {
   const { nonce, incarnation } = call;
@@ -40,7 +40,7 @@
       return decision.failure;
     case 'fence':
     case 'kept':
-      return createFailure('may-have-run', 'internal', 'unexpected answer of the nonce table');
+      return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
   }
@@ -50,7 +50,7 @@
  * Creates the empty record of an answer.
  *
  * @param call - request that starts the generation
- * @returns the record; null when the generation may run again
+ * @returns the record; null when the generation may run more than once
  */
 export const createAnswerRecord = (call: GenerateCall): AnswerRecord | null =>
   call.nonce === null ? null : { digest: '', bytes: 0, choices: [] };
@@ -59,8 +59,8 @@
  * Adds chunks to a record.
  *
  * @param record - record, updated in place
- * @param choices - choices lists of the chunks, in order
- * @param inputs - hash
+ * @param choices - `choices` list of each chunk as JSON, in order
+ * @param inputs - hash function
  */
 export const addToAnswerRecord = (
   record: AnswerRecord,
@@ -89,11 +89,11 @@
 };
 
 /**
- * Stores how a generation ended, for a caller that sends its key again. A generation that the
- * engine certainly did not run leaves its nonce fenced.
+ * Stores the result of a generation for requests that repeat its key. If the engine certainly did
+ * not run the generation, its nonce is fenced instead.
  *
- * @param generation - generation with its record, if it has one
- * @param end - how it ended
+ * @param generation - generation, with its record if it has one
+ * @param end - how the generation ended
  * @param inputs - clock and nonces
  */
 export const finishNonce = (
--- a/packages/endpoint/streams/bufferEffects.ts
+++ b/packages/endpoint/streams/bufferEffects.ts
@@ -5,20 +5,20 @@
 import type { EndpointEffect, WorkOutcome } from '../types.js';
 
 /**
- * Builds the key of a reader.
+ * Formats the key of a reader.
  *
  * @param identity - stream and link
- * @returns text that differs between readers
+ * @returns a string that identifies the reader
  */
 export const formatReaderKey = ({ stream, link }: ReaderIdentity): string =>
   `${stream}/${link.toString()}`;
 
 /**
- * Tells the admission limit how a generation ended.
+ * Reports the outcome of a generation to the admission limit and the evidence.
  *
- * @param generation - ended generation
- * @param result - how it ended
- * @returns the effect for the engine's child
+ * @param generation - generation that has ended
+ * @param result - result of the generation
+ * @returns the effect that posts the outcome to the `engine` child
  */
 export const buildWorkEnded = (
   generation: Generation,
@@ -39,11 +39,11 @@
 };
 
 /**
- * Translates an effect of the buffer; a reader whose call is gone gets nothing.
+ * Translates an effect of a buffer. Messages to a reader whose call has ended are dropped.
  *
- * @param state - streams
- * @param generationId - generation of the buffer
- * @param effect - effect of its decision
+ * @param state - state of the `streams` child
+ * @param generationId - generation that the buffer belongs to
+ * @param effect - effect of the buffer's decision
  * @returns effects of the daemon
  */
 export const toEndpointEffects = (
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -41,18 +41,18 @@
 
 const registerReader = (state: StreamsState, call: GenerateCall): ReaderIdentity => {
   const identity = { stream: call.stream, link: call.link };
-  const link: ReaderRegistration = { generationId: call.generationId, ...identity };
-  state.readers.set(call.callId, link);
+  const registration: ReaderRegistration = { generationId: call.generationId, ...identity };
+  state.readers.set(call.callId, registration);
   state.callIds.set(formatReaderKey(identity), call.callId);
   return identity;
 };
 
 const removeReader = (state: StreamsState, callId: CallId): ReaderRegistration | undefined => {
-  const link = state.readers.get(callId);
-  if (link === undefined) return undefined;
+  const reader = state.readers.get(callId);
+  if (reader === undefined) return undefined;
   state.readers.delete(callId);
-  state.callIds.delete(formatReaderKey(link));
-  return link;
+  state.callIds.delete(formatReaderKey(reader));
+  return reader;
 };
 
 const isRunning = (generation: Generation): boolean => generation.buffer.phase === 'generating';
@@ -65,7 +65,7 @@
 ): readonly EndpointEffect[] => {
   const { generationId } = generation.call;
   const step = decideBuffer(generation.buffer, event);
-  // A generation that the daemon itself stopped ran in part, and must not run again.
+  // A generation that the daemon itself cancelled ran in part and must not run again.
   const { end } = step.state;
   if (step.effects.some(({ kind }) => kind === 'cancel-engine') && end !== null) {
     finishNonce(generation, end, inputs);
@@ -159,13 +159,13 @@
   }
   if (call.mode === 'resume') {
     state.refusedResumes.set(call.generationId, inputs.now());
-    const text = `generation ${call.generationId} is not held here any more`;
+    const text = `the endpoint daemon no longer holds generation ${call.generationId}`;
     return refuseCall(call, createFailure('may-have-run', 'stream-lost', text));
   }
   return startGeneration(state, call, inputs);
 };
 
-/** Reports progress now and then only: the limit needs means, not every token. */
+/** Reports progress only at intervals, since the limit needs mean gaps, not every token. */
 const buildProgressReport = (generation: Generation, now: Millis): EndpointEffect | null => {
   const { call, firstChunkAt, reportedAt, reportedCount, chunkCount } = generation;
   const since = reportedAt ?? firstChunkAt ?? now;
@@ -263,10 +263,10 @@
   callId: CallId,
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
-  const link = removeReader(state, callId);
-  const generation = link === undefined ? undefined : state.generations.get(link.generationId);
-  if (link === undefined || generation === undefined) return [];
-  const identity = { stream: link.stream, link: link.link };
+  const reader = removeReader(state, callId);
+  const generation = reader === undefined ? undefined : state.generations.get(reader.generationId);
+  if (reader === undefined || generation === undefined) return [];
+  const identity = { stream: reader.stream, link: reader.link };
   const closed = { kind: 'reader-closed', ...identity, now: inputs.now() } as const;
   return applyBuffer(state, generation, closed, inputs);
 };
@@ -276,10 +276,10 @@
   event: Extract<StreamsEvent, { readonly kind: 'reader-took' }>,
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
-  const link = state.readers.get(event.callId);
-  const generation = link === undefined ? undefined : state.generations.get(link.generationId);
-  if (link === undefined || generation === undefined) return [];
-  const identity = { stream: link.stream, link: link.link };
+  const reader = state.readers.get(event.callId);
+  const generation = reader === undefined ? undefined : state.generations.get(reader.generationId);
+  if (reader === undefined || generation === undefined) return [];
+  const identity = { stream: reader.stream, link: reader.link };
   const { nextNumber } = event;
   const taken = { kind: 'reader-took', ...identity, nextNumber, now: inputs.now() } as const;
   return applyBuffer(state, generation, taken, inputs);
@@ -291,12 +291,12 @@
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(generationId);
-  // The caller of a generation that runs at most once may ask for the answer by its key.
+  // The caller of a generation that runs at most once may request the answer by its key later.
   if (generation === undefined || generation.call.nonce !== null) return [];
   return applyBuffer(state, generation, { kind: 'cancelled', now: inputs.now() }, inputs);
 };
 
-/** Takes the admitted sequence off the limit again. */
+/** Releases the admission of a generation that was admitted but not started. */
 const releaseAdmission = (call: GenerateCall): EndpointEffect => ({
   kind: 'post',
   event: {
@@ -363,10 +363,10 @@
 };
 
 /**
- * Creates the decisions of the `streams` child. Its state is lost with the process; readers are
- * then told `stream-lost`.
+ * Creates the logic of the `streams` child, which starts generations, buffers their chunks and sends
+ * them to readers. Its state is lost with the process; readers then receive `stream-lost`.
  *
- * @param inputs - clock and buffer bounds
+ * @param inputs - clock, nonces, buffer limits and priorities
  * @returns the child's logic
  */
 export const createStreamsLogic = (
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -3,16 +3,16 @@
 import type { BufferState } from '../../decisions/streams/bufferTypes.js';
 import type { CallId, GenerateCall } from '../types.js';
 
-/** What is kept of an answer for a repeated key; updated in place with each chunk. */
+/** Answer recorded for requests that repeat its key; updated in place with each chunk. */
 export interface AnswerRecord {
-  /** Digest over all chunks so far, each hashed with the digest before it. */
+  /** Hash chain over the chunks so far: each chunk is hashed together with the previous digest. */
   digest: string;
   bytes: number;
-  /** Null once the answer is too large to be kept. */
+  /** Null once the answer is too large to be retained. */
   choices: string[] | null;
 }
 
-/** One generation of this endpoint with its buffer and its timing. */
+/** One generation of this endpoint, with its buffer and its timing. */
 export interface Generation {
   readonly call: GenerateCall;
   readonly buffer: BufferState;
@@ -20,14 +20,15 @@
   readonly firstChunkAt: Millis | null;
   readonly lastChunkAt: Millis | null;
   readonly chunkCount: number;
-  /** Last report of progress to the admission limit. */
+  /** Time of the last progress report to the admission limit; null before the first. */
   readonly reportedAt: Millis | null;
+  /** Chunk count at the last progress report. */
   readonly reportedCount: number;
   /** Answer of a generation that must run at most once; null for others. */
   readonly record: AnswerRecord | null;
 }
 
-/** Which generation an open call of an entry daemon reads. */
+/** Generation that an open call of an entry daemon reads, and the identity of the reader. */
 export interface ReaderRegistration {
   readonly generationId: GenerationId;
   readonly stream: string;
@@ -35,18 +36,19 @@
 }
 
 /**
- * Generations and their readers. The maps are owned by the `streams` child and updated in place,
- * since thousands of generations get a chunk every few milliseconds.
+ * Generations and their readers. The `streams` child owns the maps and updates them in place, since
+ * thousands of generations receive a chunk every few milliseconds.
  */
 export interface StreamsState {
   readonly generations: Map<GenerationId, Generation>;
   readonly readers: Map<CallId, ReaderRegistration>;
+  /** Open call of each reader, by the reader's key. */
   readonly callIds: Map<string, CallId>;
   /**
    * Generations whose resume was refused, with the time of the refusal. Their entry daemon may have
    * started them elsewhere, so a start that arrives late must be refused as well.
    */
   readonly refusedResumes: Map<GenerationId, Millis>;
-  /** Generations that the engine works on. */
+  /** Number of generations that are running on the engine. */
   running: number;
 }
