Reword the comments of the endpoint daemon's types, views and wiring

'What the engine tells about itself', 'the work that it bears', 'the only way to its endpoint' and 'a fault left the tree' now name the health and load pages, the start order, the source of the counts and the escaped error.

--- a/packages/endpoint/supervisor.ts
+++ b/packages/endpoint/supervisor.ts
@@ -13,7 +13,7 @@
   SupervisorSpec,
 } from '../core/supervision/types.js';
 
-/** Read-only views of the children's states, published after each of their steps. */
+/** Newest state of each child, published after each of its steps for the other children to read. */
 export interface EndpointStates {
   platform: PlatformState;
   engine: EngineState;
@@ -25,7 +25,7 @@
 
 type ChildName = keyof EndpointStates;
 
-/** Decisions of each child. */
+/** Decision logic of each child. */
 export type EndpointLogics = {
   readonly [Name in ChildName]: ChildLogic<
     EndpointStates[Name],
@@ -37,10 +37,11 @@
 /**
  * Describes the supervisor of an endpoint daemon.
  *
- * The engine comes before the work that it bears, and the gate comes last, so that nothing is let
- * in before the rest runs. Each child can restart alone: the others only read its state.
+ * The `engine` child starts before the children whose work it admits. The `rpc` child starts last, so
+ * that no work is accepted before the other children run. Each child can restart alone, since the
+ * others only read its state.
  *
- * @param logics - decisions of the children
+ * @param logics - decision logic of the children
  * @param states - receives each new state
  * @returns the supervisor's specification
  */
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -70,6 +70,7 @@
   readonly body: Uint8Array;
 }
 
+/** A request of an entry daemon to fence a nonce. */
 export interface FenceCall {
   readonly callId: CallId;
   readonly format: number;
@@ -79,12 +80,13 @@
 
 export type FenceResult = 'fenced' | 'started' | 'finished' | 'unknown-incarnation';
 
-/** What the engine or service tells about itself. */
+/** Health page of the engine or service. */
 export interface EngineHealth {
   readonly status: 'warming' | 'ready' | 'failing';
   readonly startId: string;
 }
 
+/** Load page of the engine, whose figures describe the engine as it was `ageMs` ago. */
 export interface EngineLoad {
   readonly startId: string;
   readonly running: number;
@@ -96,6 +98,7 @@
   readonly ageMs: Millis;
 }
 
+/** Change of the engine's prefix cache. */
 export interface CacheEvent {
   readonly sequence: number;
   readonly kind: 'stored' | 'evicted';
@@ -103,18 +106,21 @@
   readonly at: Millis;
 }
 
+/** Entry daemon in the platform's instance list. */
 export interface ListedEntry {
   readonly id: string;
   readonly dataCentre: string;
   readonly rpcUrl: string;
 }
 
+/** Record of the control stream that has not been parsed. */
 export interface RawControlRecord {
   readonly offset: Offset;
   readonly at: Millis;
   readonly body: unknown;
 }
 
+/** Answer of an entry daemon to a heartbeat. */
 export interface HeartbeatAnswer {
   readonly watermark: Offset;
   readonly records: readonly RawControlRecord[];
@@ -134,16 +140,16 @@
   readonly tokenGaps: number;
 }
 
-/** A generation id or a call id: one piece of work that the endpoint was given. */
+/** Identifies one piece of the endpoint's work: a generation id or a call id. */
 export type WorkId = string;
 
 /**
- * `failure` is an error answer, `lost` a broken connection, as after a crash; cancelled work and work
- * that the endpoint refused as bad say nothing about its version.
+ * `failure` is an error response and `lost` a broken connection, as after a crash. `cancelled` also
+ * covers work that the endpoint refused as a bad request; it is no evidence about the version.
  */
 export type WorkResult = 'success' | 'failure' | 'lost' | 'cancelled';
 
-/** How one piece of work ended, for the admission limit and for the evidence of a version. */
+/** Outcome of one piece of work, used by the admission limit and as evidence about a version. */
 export interface WorkOutcome {
   readonly workId: WorkId;
   readonly customer: CustomerId;
@@ -171,7 +177,7 @@
       readonly to: 'engine';
       readonly kind: 'health-received';
       readonly health: EngineHealth;
-      /** When the question was sent; the answer says nothing about later work. */
+      /** When the page was requested; it confirms nothing about work admitted later. */
       readonly requestedAt: Millis;
     }
   | { readonly to: 'engine'; readonly kind: 'health-failed'; readonly reason: string }
@@ -248,11 +254,11 @@
   | { readonly to: 'calls'; readonly kind: 'sweep' };
 
 export type HeartbeatsEvent =
-  /** The regular heartbeat. */
+  /** The regular heartbeat is due. */
   | { readonly to: 'heartbeats'; readonly kind: 'beat-due' }
-  /** An extra heartbeat, since something changed that entry daemons must know at once. */
+  /** An extra heartbeat is needed, to notify entry daemons of a change at once. */
   | { readonly to: 'heartbeats'; readonly kind: 'beat' }
-  /** Looks at the clock, so that a pause of the process ends the lease. */
+  /** Checks the clock, so that a pause of the process ends the lease. */
   | { readonly to: 'heartbeats'; readonly kind: 'tick' }
   | {
       readonly to: 'heartbeats';
@@ -278,7 +284,7 @@
 export type EndpointEvent =
   PlatformEvent | EngineEvent | StreamsEvent | CallsEvent | HeartbeatsEvent | RpcEvent;
 
-/** A heartbeat to one entry daemon. */
+/** Content of a heartbeat. */
 export interface HeartbeatContent {
   readonly sequence: number;
   readonly engineStart: string;
@@ -304,18 +310,19 @@
       readonly kind: 'start-generation';
       readonly generationId: GenerationId;
       readonly call: GenerateCall;
-      /** Number that tells the engine whose stalls cost least. */
+      /** Priority number, by which the engine preempts the classes whose stalls cost least. */
       readonly priority: number;
     }
   | { readonly kind: 'cancel-generation'; readonly generationId: GenerationId }
-  /** Stops or continues reading from the engine's connection. */
+  /** Pauses or resumes reading from the engine's connection. */
   | {
       readonly kind: 'set-engine-flow';
       readonly generationId: GenerationId;
       readonly flow: 'flowing' | 'paused';
     }
-  /** Cancels what an earlier state of the child had running and fails its readers. */
+  /** Cancels the generations of the child's previous run and fails their readers. */
   | { readonly kind: 'reset-generations' }
+  /** Fails the service calls of the child's previous run. */
   | { readonly kind: 'reset-calls' }
   | { readonly kind: 'send-started'; readonly callId: CallId }
   | {
@@ -329,7 +336,7 @@
       readonly callId: CallId;
       readonly chunkCount: number;
       readonly usage: string;
-      /** Digest of the answer of a generation that must run at most once, else empty. */
+      /** Digest of the answer if the generation must run at most once, otherwise empty. */
       readonly digest: string;
     }
   | { readonly kind: 'send-failure'; readonly callId: CallId; readonly failure: Failure }
@@ -344,7 +351,7 @@
     }
   | {
       readonly kind: 'send-heartbeat';
-      /** Entry instance that it goes to. */
+      /** Entry instance that the heartbeat is sent to. */
       readonly to: string;
       readonly url: string;
       readonly content: HeartbeatContent;
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -34,12 +34,12 @@
 /**
  * Describes the endpoint for a heartbeat.
  *
- * What runs is counted here, not taken from the lagging load page: this daemon is the only way to
- * its endpoint.
+ * Running work is counted here instead of taken from the lagging load page, since all work reaches
+ * the endpoint through this daemon.
  *
  * @param states - states of the children
  * @param now - current instant
- * @returns phase, limit, load and evidence
+ * @returns phase, limit, load, cached prefixes and evidence
  */
 export const describeLoad = (
   states: EndpointStates,
@@ -61,7 +61,8 @@
 };
 
 /**
- * Finds what the admission limit needs to know of a class.
+ * Returns the targets of a class for admission. A class that is not published gets the importance
+ * that the entry daemon sent, and long answers.
  *
  * @param states - states of the children
  * @param className - class of the request
@@ -75,17 +76,17 @@
 ): ClassTargets => {
   const published = states.heartbeats.view.classes.get(className);
   if (published !== undefined) return published;
-  const known: readonly Importance[] = ['critical', 'standard', 'background'];
+  const importances: readonly Importance[] = ['critical', 'standard', 'background'];
   return {
     className,
-    importance: known.find((candidate) => candidate === importance) ?? 'standard',
+    importance: importances.find((candidate) => candidate === importance) ?? 'standard',
     answerLength: 'long',
   };
 };
 
 /**
- * Finds the time between tokens up to which the limit may grow: the tightest of the published
- * classes, since all of them share the endpoint.
+ * Returns the time between tokens up to which the admission limit may grow: the lowest target of the
+ * published classes, since all of them share the endpoint.
  *
  * @param states - states of the children
  * @returns the gap in milliseconds; 0 without published classes
@@ -96,7 +97,7 @@
 };
 
 /**
- * Tells why the endpoint should get no new work now.
+ * Returns why the endpoint should receive no new work now.
  *
  * @param states - states of the children
  * @returns the reason, or null when it is ready
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -43,7 +43,7 @@
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import type { EndpointSettings } from '../settings/types.js';
 
-/** Everything that one endpoint daemon is made of. */
+/** Parts of an endpoint daemon, by their names in the container. */
 export interface EndpointCradle {
   readonly settings: EndpointSettings;
   readonly onEnd: (reason: EndReason) => void;
@@ -62,7 +62,7 @@
   readonly daemon: Daemon<EndpointEvent>;
 }
 
-/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+/** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
@@ -226,8 +226,8 @@
 /**
  * Wires the parts of an endpoint daemon.
  *
- * @param settings - checked settings
- * @param onEnd - called when the daemon wants its process to end
+ * @param settings - validated settings
+ * @param onEnd - called when the process of the daemon should end
  * @returns the container
  */
 export const wireEndpointDaemon = (
@@ -241,7 +241,8 @@
     clock: asFunction(createSystemClock).singleton(),
     incarnation: asFunction(createId).singleton(),
     urls: asValue({ rpc: '', http: '' }),
-    // Each child publishes its state before anything reads it: they start in the declared order.
+    // Filled by the children, which start in the declared order: each one publishes its state before
+    // any other part reads it.
     states: asValue({} as EndpointStates),
     events: asFunction(buildEvents).singleton(),
     metrics: asFunction(createMetrics).singleton(),
