--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -92,7 +92,7 @@
 const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
   toStep({ ...state, load, loadMeasuredAt: inputs.now() - load.ageMs });
 
-/** The load page lags, so its figures may belong to an earlier start of the engine. */
+/** Ignores figures of an earlier start of the engine, which the lagging load page may still show. */
 const getMemory = (state: EngineState, startId: string): EngineMemory => {
   const { load } = state;
   const isCurrent = load?.startId === startId;
--- a/packages/endpoint/engine/evidence.ts
+++ b/packages/endpoint/engine/evidence.ts
@@ -32,7 +32,7 @@
  *
  * @param evidence - counters by route and class
  * @param outcome - outcome of one generation or call
- * @param thresholds - targets of its class, or undefined when the class is not configured
+ * @param thresholds - targets of its class, or undefined when the class is not published
  * @returns the updated counters
  */
 export const addOutcome = (
--- a/packages/endpoint/engine/prefixSketch.ts
+++ b/packages/endpoint/engine/prefixSketch.ts
@@ -3,7 +3,7 @@
 import type { CacheEvent } from '../types.js';
 
 /**
- * Creates the cached prefixes of an engine whose cache contents are unknown.
+ * Creates the state for an engine whose cache contents are unknown.
  *
  * @returns an empty set of prefixes
  */
--- a/packages/endpoint/streams/bufferEffects.ts
+++ b/packages/endpoint/streams/bufferEffects.ts
@@ -14,7 +14,7 @@
   `${stream}/${link.toString()}`;
 
 /**
- * Reports the outcome of a generation to the admission limit and the evidence.
+ * Builds the effect that reports the outcome of a generation to the admission limit.
  *
  * @param generation - generation that has ended
  * @param result - result of the generation
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -82,8 +82,11 @@
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   if (state.refusedResumes.has(call.generationId)) {
-    const text = 'the start arrived after a resume of the generation was refused';
-    return [...refuseCall(call, createFailure('not-run', 'fenced', text)), releaseAdmission(call)];
+    const message = 'the start arrived after a resume of the generation was refused';
+    return [
+      ...refuseCall(call, createFailure('not-run', 'fenced', message)),
+      releaseAdmission(call),
+    ];
   }
   const refusal = startNonce(call, inputs);
   if (refusal !== null) return [...refuseCall(call, refusal), releaseAdmission(call)];
@@ -159,8 +162,8 @@
   }
   if (call.mode === 'resume') {
     state.refusedResumes.set(call.generationId, inputs.now());
-    const text = `the endpoint daemon no longer holds generation ${call.generationId}`;
-    return refuseCall(call, createFailure('may-have-run', 'stream-lost', text));
+    const message = `the endpoint daemon no longer holds generation ${call.generationId}`;
+    return refuseCall(call, createFailure('may-have-run', 'stream-lost', message));
   }
   return startGeneration(state, call, inputs);
 };
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -32,7 +32,7 @@
   readonly deadlineMs: Millis;
   readonly promptTokens: number;
   readonly entry: string;
-  /** Identity of the caller's stream at the entry daemon, and the number of this link to it. */
+  /** Caller's stream at the entry daemon, and the number of its link to this generation. */
   readonly stream: string;
   readonly link: number;
   /** Set for a generation that must run at most once; equals the generation id. */
@@ -144,8 +144,8 @@
 export type WorkId = string;
 
 /**
- * `failure` is an error response and `lost` a broken connection, as after a crash. `cancelled` also
- * covers work that the endpoint refused as a bad request; it is no evidence about the version.
+ * `failure` is an error response and `lost` a broken connection, as after a crash. `cancelled` work,
+ * which includes work that the endpoint refused as a bad request, is no evidence about its version.
  */
 export type WorkResult = 'success' | 'failure' | 'lost' | 'cancelled';
 
