--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -1,4 +1,4 @@
-import { EXPIRE_MS } from './constants.js';
+import { EXPIRY_INTERVAL_MS } from './constants.js';
 import type { CallsState, RunningCall } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -21,7 +21,7 @@
 
 export interface CallsInputs {
   readonly now: () => Millis;
-  /** Outlives a restart of the child: a nonce that was started must never start again. */
+  /** Kept across restarts of the child, since a started nonce must never start again. */
   readonly nonces: NonceTable;
   readonly hashBody: (body: Uint8Array) => string;
 }
@@ -56,7 +56,7 @@
       return decision.failure;
     case 'fence':
     case 'kept':
-      return createFailure('may-have-run', 'internal', 'unexpected answer of the nonce table');
+      return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
   }
@@ -71,14 +71,14 @@
   if (refusal !== null) {
     return [
       ...refuseCall(call, refusal),
-      describeOutcome({ call, startedAt: inputs.now() }, 'cancelled', inputs.now()),
+      buildWorkEnded({ call, startedAt: inputs.now() }, 'cancelled', inputs.now()),
     ];
   }
   state.running.set(call.callId, { call, startedAt: inputs.now() });
   return [{ kind: 'call-service', call }];
 };
 
-const describeOutcome = (
+const buildWorkEnded = (
   { call, startedAt }: RunningCall,
   result: WorkResult,
   now: Millis,
@@ -100,7 +100,7 @@
   },
 });
 
-const closeAnswered = (
+const finishCall = (
   state: CallsState,
   callId: string,
   answer: ServiceAnswer,
@@ -116,10 +116,10 @@
     decideNonce(state.nonces, { kind: 'finish', nonce, answer: stored, now });
   }
   const result = answer.status >= FIRST_SERVER_ERROR ? 'failure' : 'success';
-  return [{ kind: 'reply-answer', callId, answer }, describeOutcome(running, result, now)];
+  return [{ kind: 'reply-answer', callId, answer }, buildWorkEnded(running, result, now)];
 };
 
-const closeFailed = (
+const failCall = (
   state: CallsState,
   callId: string,
   failure: Failure,
@@ -134,7 +134,7 @@
   }
   return [
     { kind: 'reply-failure', callId, failure },
-    describeOutcome(running, failure.code === 'endpoint-lost' ? 'lost' : 'failure', inputs.now()),
+    buildWorkEnded(running, failure.code === 'endpoint-lost' ? 'lost' : 'failure', inputs.now()),
   ];
 };
 
@@ -172,7 +172,8 @@
       };
       return [toFenceEffect(callId, decision.result), logged];
     }
-    // A full table makes no promise; the asking entry daemon must count the nonce as started.
+    // A full table cannot store the fence, so the requesting entry daemon must treat the nonce as
+    // started.
     case 'refuse':
     case 'run':
     case 'kept':
@@ -191,24 +192,24 @@
     case 'open':
       return openCall(state, event.call, inputs);
     case 'service-answered':
-      return closeAnswered(state, event.callId, event.answer, inputs);
+      return finishCall(state, event.callId, event.answer, inputs);
     case 'service-failed':
-      return closeFailed(state, event.callId, event.failure, inputs);
+      return failCall(state, event.callId, event.failure, inputs);
     case 'fence':
       return fenceNonce(state, event.call, inputs);
     case 'sweep':
       decideNonce(state.nonces, { kind: 'expire', now: inputs.now() });
-      return [{ kind: 'schedule', delayMs: EXPIRE_MS, event }];
+      return [{ kind: 'schedule', delayMs: EXPIRY_INTERVAL_MS, event }];
     default:
       return assertNever(event);
   }
 };
 
 /**
- * Creates the decisions of the `calls` child: calls of the plain service and the nonces that make
- * them run at most once.
+ * Creates the logic of the `calls` child, which handles calls to a plain service. Nonces ensure that
+ * a call runs at most once.
  *
- * A restarted child fails the calls that it had running as `may-have-run`; the nonces stay.
+ * A restarted child fails the calls that were running as `may-have-run`; the nonces are kept.
  *
  * @param inputs - clock and the nonces of this incarnation
  * @returns the child's logic
@@ -220,7 +221,7 @@
     toStep<CallsState, EndpointEffect>(
       { running: new Map(), nonces: inputs.nonces },
       { kind: 'reset-calls' },
-      { kind: 'schedule', delayMs: EXPIRE_MS, event: { to: 'calls', kind: 'sweep' } },
+      { kind: 'schedule', delayMs: EXPIRY_INTERVAL_MS, event: { to: 'calls', kind: 'sweep' } },
     ),
   decide: (state, event) => toStep(state, ...decideCalls(state, event, inputs)),
 });
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -1,7 +1,7 @@
 import { ENGINE_POLL_MS } from './constants.js';
 import { addOutcome } from './evidence.js';
 import type { SlowThresholds } from './evidence.js';
-import { applyCacheEvents, createPrefixSketch } from './prefixSketch.js';
+import { applyCacheEvents, createCachedPrefixes } from './prefixSketch.js';
 import type { EngineState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -37,9 +37,9 @@
   readonly now: () => Millis;
   readonly target: 'model' | 'service';
   readonly version: VersionName;
-  /** Bounds of the limit; the accepted gap follows the targets in force. */
-  readonly getAdmission: () => AdmissionContext['settings'];
-  /** Length estimates, learned from this endpoint's own generations. */
+  /** Returns the settings of the limit; the accepted gap follows from the class targets in force. */
+  readonly getAdmissionSettings: () => AdmissionContext['settings'];
+  /** Estimates of output lengths, learned from this endpoint's own generations. */
   readonly survival: SurvivalTable;
   readonly findTargets: (className: string, importance: string) => ClassTargets;
   readonly findThresholds: (className: string) => SlowThresholds | undefined;
@@ -47,14 +47,14 @@
 
 type EngineStep = Step<EngineState, EndpointEffect>;
 
-const POLL: EndpointEffect = {
+const SCHEDULE_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: ENGINE_POLL_MS,
   event: { to: 'engine', kind: 'poll' },
 };
 
 const toContext = (inputs: EngineInputs): AdmissionContext => ({
-  settings: inputs.getAdmission(),
+  settings: inputs.getAdmissionSettings(),
   survival: inputs.survival,
 });
 
@@ -90,9 +90,9 @@
 };
 
 const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
-  toStep({ ...state, load, loadAt: inputs.now() - load.ageMs });
+  toStep({ ...state, load, loadMeasuredAt: inputs.now() - load.ageMs });
 
-/** The load page lags, so figures of an earlier start of the engine say nothing about this one. */
+/** Ignores figures of an earlier start of the engine, which the lagging load page may still show. */
 const getMemory = (state: EngineState, startId: string): EngineMemory => {
   const { load } = state;
   const isCurrent = load?.startId === startId;
@@ -114,7 +114,7 @@
 ): EngineStep => {
   const { health, requestedAt } = event;
   const now = inputs.now();
-  const next = { ...state, reach: 'reached', health } as const;
+  const next = { ...state, reachability: 'reached', health } as const;
   if (!isReady(next, health, inputs)) {
     return removeProbes(applyAdmission(next, { kind: 'engine-unreachable', now }, inputs));
   }
@@ -124,7 +124,7 @@
       kind: 'load-read',
       identity: health.startId,
       memory: getMemory(next, health.startId),
-      generated: state.generated,
+      generated: state.generatedTokens,
       requestedAt,
       now,
     },
@@ -132,7 +132,10 @@
   );
 };
 
-/** The next poll asks again; an immediate question would turn an outage into a busy loop. */
+/**
+ * Drops immediate health requests. The next poll sends one anyway, and an immediate request would
+ * turn an outage into a busy loop.
+ */
 const removeProbes = (step: EngineStep): EngineStep => ({
   state: step.state,
   effects: step.effects.filter(({ kind }) => kind !== 'fetch-health'),
@@ -141,12 +144,12 @@
 const applyUnreachable = (state: EngineState, reason: string, inputs: EngineInputs): EngineStep => {
   const step = removeProbes(
     applyAdmission(
-      { ...state, reach: 'unreachable', health: null },
+      { ...state, reachability: 'unreachable', health: null },
       { kind: 'engine-unreachable', now: inputs.now() },
       inputs,
     ),
   );
-  if (state.reach === 'unreachable') return step;
+  if (state.reachability === 'unreachable') return step;
   return toStep(step.state, ...step.effects, {
     kind: 'log',
     name: 'engine-unreachable',
@@ -155,7 +158,7 @@
 };
 
 const checkReady = (state: EngineState): Failure | null => {
-  if (state.reach === 'reached' && state.health?.status === 'ready') return null;
+  if (state.reachability === 'reached' && state.health?.status === 'ready') return null;
   return createFailure('not-run', 'overloaded', 'the endpoint is not ready', ENGINE_POLL_MS);
 };
 
@@ -227,7 +230,7 @@
   });
 };
 
-/** An error answer shows that the engine lives; only a broken connection puts that in doubt. */
+/** An error response shows that the engine is running; only a broken connection may be a crash. */
 const toEndReason = (result: WorkResult): 'finished' | 'cancelled' | 'engine-failed' => {
   switch (result) {
     case 'success':
@@ -254,9 +257,9 @@
   else inputs.survival.observeCensored(key, tokens);
 };
 
-const closeWork = (state: EngineState, outcome: WorkOutcome, inputs: EngineInputs): EngineStep => {
+const finishWork = (state: EngineState, outcome: WorkOutcome, inputs: EngineInputs): EngineStep => {
   observeLength(outcome, inputs);
-  state.generated.delete(outcome.workId);
+  state.generatedTokens.delete(outcome.workId);
   const thresholds = inputs.findThresholds(outcome.className);
   return applyAdmission(
     { ...state, evidence: addOutcome(state.evidence, outcome, thresholds) },
@@ -276,7 +279,7 @@
   inputs: EngineInputs,
 ): EngineStep => {
   const { workId, tokens, gapMs } = event;
-  state.generated.set(workId, (state.generated.get(workId) ?? 0) + tokens);
+  state.generatedTokens.set(workId, (state.generatedTokens.get(workId) ?? 0) + tokens);
   return applyAdmission(
     state,
     { kind: 'tokens-received', requestId: workId, tokens, gapMs, now: inputs.now() },
@@ -285,17 +288,17 @@
 };
 
 const probeEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
-  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, POLL);
+  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, SCHEDULE_POLL);
   return toStep<EngineState, EndpointEffect>(
     state,
     { kind: 'fetch-health' },
     { kind: 'fetch-load' },
-    { kind: 'fetch-cache-events', from: state.sketch.next },
-    POLL,
+    { kind: 'fetch-cache-events', from: state.cachedPrefixes.next },
+    SCHEDULE_POLL,
   );
 };
 
-/** The data centre came back: the endpoint counts as cold, since its cache may be. */
+/** Restarts the ramp when the data centre is back in use, since the endpoint's cache may be cold. */
 const restartRamp = (state: EngineState, inputs: EngineInputs): EngineStep => {
   const admission = { ...createAdmissionState(inputs.now()), running: state.admission.running };
   return toStep({ ...state, admission }, { kind: 'fetch-health' });
@@ -312,7 +315,10 @@
     case 'load-received':
       return applyLoad(state, event.load, inputs);
     case 'cache-events-received':
-      return toStep({ ...state, sketch: applyCacheEvents(state.sketch, event.events, event.next) });
+      return toStep({
+        ...state,
+        cachedPrefixes: applyCacheEvents(state.cachedPrefixes, event.events, event.next),
+      });
     case 'admit-generation':
       return admitGeneration(state, event.call, inputs);
     case 'admit-call':
@@ -320,7 +326,7 @@
     case 'tokens-received':
       return applyTokens(state, event, inputs);
     case 'work-ended':
-      return closeWork(state, event.outcome, inputs);
+      return finishWork(state, event.outcome, inputs);
     case 'restart-ramp':
       return restartRamp(state, inputs);
     default:
@@ -329,10 +335,10 @@
 };
 
 /**
- * Creates the decisions of the `engine` child: what is known of the endpoint, and how much it is
- * given.
+ * Creates the logic of the `engine` child, which tracks the state of the endpoint and limits the
+ * work admitted to it.
  *
- * @param inputs - clock, settings and class targets
+ * @param inputs - clock, admission settings, length estimates and class targets
  * @returns the child's logic
  */
 export const createEngineLogic = (
@@ -341,13 +347,13 @@
   init: () =>
     toStep<EngineState, EndpointEffect>(
       {
-        reach: 'unknown',
+        reachability: 'unknown',
         health: null,
         load: null,
-        loadAt: 0,
+        loadMeasuredAt: 0,
         admission: createAdmissionState(inputs.now()),
-        generated: new Map(),
-        sketch: createPrefixSketch(),
+        generatedTokens: new Map(),
+        cachedPrefixes: createCachedPrefixes(),
         evidence: new Map(),
       },
       { kind: 'post', event: { to: 'engine', kind: 'poll' } },
--- a/packages/endpoint/engine/prefixSketch.ts
+++ b/packages/endpoint/engine/prefixSketch.ts
@@ -1,35 +1,36 @@
 import { MAX_PREFIXES } from './constants.js';
-import type { PrefixSketch } from './types.js';
+import type { CachedPrefixes } from './types.js';
 import type { CacheEvent } from '../types.js';
 
 /**
- * Creates the sketch of an engine whose cache is unknown.
+ * Creates the state for an engine whose cache contents are unknown.
  *
- * @returns an empty sketch
+ * @returns an empty set of prefixes
  */
-export const createPrefixSketch = (): PrefixSketch => ({
-  prefixes: new Set(),
+export const createCachedPrefixes = (): CachedPrefixes => ({
+  hashes: new Set(),
   next: 0,
   gaps: 0,
   newestAt: 0,
 });
 
 /**
- * Applies cache events. A jump in the sequence counts as a gap and nothing is guessed about it.
+ * Applies cache events. Skipped sequence numbers are counted as lost events; what those events did
+ * to the cache is not guessed.
  *
- * @param sketch - sketch so far
- * @param events - events in the order of their sequence
- * @param next - first sequence number to ask for next
- * @returns the next sketch
+ * @param cached - cached prefixes before the events
+ * @param events - events in the order of their sequence numbers
+ * @param next - sequence number from which the next request reads
+ * @returns the updated cached prefixes
  */
 export const applyCacheEvents = (
-  sketch: PrefixSketch,
+  cached: CachedPrefixes,
   events: readonly CacheEvent[],
   next: number,
-): PrefixSketch => {
-  if (events.length === 0) return next === sketch.next ? sketch : { ...sketch, next };
-  const prefixes = new Set(sketch.prefixes);
-  let { next: expected, gaps, newestAt } = sketch;
+): CachedPrefixes => {
+  if (events.length === 0) return next === cached.next ? cached : { ...cached, next };
+  const prefixes = new Set(cached.hashes);
+  let { next: expected, gaps, newestAt } = cached;
   for (const event of events) {
     if (event.sequence > expected) gaps += event.sequence - expected;
     expected = event.sequence + 1;
@@ -37,6 +38,6 @@
     prefixes.delete(event.prefix);
     if (event.kind === 'stored') prefixes.add(event.prefix);
   }
-  const kept = [...prefixes].slice(-MAX_PREFIXES);
-  return { prefixes: new Set(kept), next: Math.max(next, expected), gaps, newestAt };
+  const newest = [...prefixes].slice(-MAX_PREFIXES);
+  return { hashes: new Set(newest), next: Math.max(next, expected), gaps, newestAt };
 };
--- a/packages/endpoint/platform/platform.ts
+++ b/packages/endpoint/platform/platform.ts
@@ -5,17 +5,18 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { EndpointEffect, ListedEntry, PlatformEvent } from '../types.js';
 
-/** What the platform's instance list says. */
+/** Newest contents of the platform's instance list. */
 export interface PlatformState {
   readonly entries: readonly ListedEntry[];
+  /** Whether the last read of the list succeeded. */
   readonly list: 'up' | 'out';
-  /** Whether the list shows this instance as leaving. */
+  /** State of this instance in the list. */
   readonly self: 'live' | 'leaving' | 'absent';
 }
 
 type PlatformStep = Step<PlatformState, EndpointEffect>;
 
-const AGAIN: EndpointEffect = {
+const SCHEDULE_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: LIST_POLL_MS,
   event: { to: 'platform', kind: 'poll' },
@@ -26,14 +27,17 @@
   event: Extract<PlatformEvent, { readonly kind: 'list-received' }>,
 ): PlatformStep => {
   const next: PlatformState = { entries: event.entries, list: 'up', self: event.self };
-  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, AGAIN);
+  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, SCHEDULE_POLL);
   const reason = 'the instance list shows this instance as leaving';
-  return toStep(next, AGAIN, { kind: 'post', event: { to: 'rpc', kind: 'drain-started', reason } });
+  return toStep(next, SCHEDULE_POLL, {
+    kind: 'post',
+    event: { to: 'rpc', kind: 'drain-started', reason },
+  });
 };
 
 /**
- * Creates the decisions of the `platform` child. Known entry daemons are kept while the list is
- * out, since heartbeats tell which of them live.
+ * Creates the logic of the `platform` child, which reads the instance list. Known entry daemons are
+ * kept while the list is unavailable, since heartbeats show which of them are running.
  *
  * @returns the child's logic
  */
@@ -60,7 +64,9 @@
           details: { data: { reason: event.reason } },
         };
         const next = { ...state, list: 'out' } as const;
-        return state.list === 'out' ? toStep(next, AGAIN) : toStep(next, AGAIN, logged);
+        return state.list === 'out'
+          ? toStep(next, SCHEDULE_POLL)
+          : toStep(next, SCHEDULE_POLL, logged);
       }
       default:
         return assertNever(event);
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -1,4 +1,4 @@
-import { MAX_KEPT_ANSWER_BYTES } from './constants.js';
+import { MAX_RETAINED_ANSWER_BYTES } from './constants.js';
 import type { AnswerRecord, Generation } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -13,7 +13,7 @@
 
 export interface AnswerRecordInputs {
   readonly now: () => Millis;
-  /** The same table as that of the plain service's calls, so that both are fenced alike. */
+  /** Table shared with the calls to plain services, so that both are fenced in the same way. */
   readonly nonces: NonceTable;
   readonly hashBody: (body: Uint8Array) => string;
 }
@@ -22,13 +22,13 @@
 const STATUS_FAILED = 502;
 
 /**
- * Takes the right to start a generation that must run at most once.
+ * Registers the start of a generation that must run at most once.
  *
- * @param call - request to start it
+ * @param call - request to start the generation
  * @param inputs - clock and nonces
- * @returns null when it may start, else why not
+ * @returns null when the generation may start, otherwise the failure
  */
-export const startOnce = (call: GenerateCall, inputs: AnswerRecordInputs): Failure | null => {
+export const startNonce = (call: GenerateCall, inputs: AnswerRecordInputs): Failure | null => {
   const { nonce, incarnation } = call;
   if (nonce === null) return null;
   const event = { kind: 'start', nonce, incarnation, now: inputs.now() } as const;
@@ -40,7 +40,7 @@
       return decision.failure;
     case 'fence':
     case 'kept':
-      return createFailure('may-have-run', 'internal', 'unexpected answer of the nonce table');
+      return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
   }
@@ -50,19 +50,19 @@
  * Creates the empty record of an answer.
  *
  * @param call - request that starts the generation
- * @returns the record; null when the generation may run again
+ * @returns the record; null when the generation may run more than once
  */
-export const createRecord = (call: GenerateCall): AnswerRecord | null =>
+export const createAnswerRecord = (call: GenerateCall): AnswerRecord | null =>
   call.nonce === null ? null : { digest: '', bytes: 0, choices: [] };
 
 /**
  * Adds chunks to a record.
  *
  * @param record - record, updated in place
- * @param choices - choices lists of the chunks, in order
- * @param inputs - hash
+ * @param choices - `choices` list of each chunk as JSON, in order
+ * @param inputs - hash function
  */
-export const addToRecord = (
+export const addToAnswerRecord = (
   record: AnswerRecord,
   choices: readonly string[],
   { hashBody }: AnswerRecordInputs,
@@ -72,10 +72,10 @@
     record.bytes += Buffer.byteLength(choice);
     record.choices?.push(choice);
   }
-  if (record.bytes > MAX_KEPT_ANSWER_BYTES) record.choices = null;
+  if (record.bytes > MAX_RETAINED_ANSWER_BYTES) record.choices = null;
 };
 
-const toStored = (record: AnswerRecord, end: BufferEnd): StoredGeneration | null => {
+const toStoredGeneration = (record: AnswerRecord, end: BufferEnd): StoredGeneration | null => {
   switch (end.kind) {
     case 'finished':
       return record.choices === null
@@ -89,14 +89,14 @@
 };
 
 /**
- * Stores how a generation ended, for a caller that sends its key again. A generation that the
- * engine certainly did not run leaves its nonce fenced.
+ * Stores the result of a generation for requests that repeat its key. If the engine certainly did
+ * not run the generation, its nonce is fenced instead.
  *
- * @param generation - generation with its record, if it has one
- * @param end - how it ended
+ * @param generation - generation, with its record if it has one
+ * @param end - how the generation ended
  * @param inputs - clock and nonces
  */
-export const closeRecord = (
+export const finishNonce = (
   { call, record }: Generation,
   end: BufferEnd,
   inputs: AnswerRecordInputs,
@@ -109,7 +109,7 @@
   }
   const status = end.kind === 'finished' ? STATUS_OK : STATUS_FAILED;
   const bodyDigest = record.digest;
-  const stored = toStored(record, end);
+  const stored = toStoredGeneration(record, end);
   if (stored === null) {
     decideNonce(inputs.nonces, { kind: 'finish-without-answer', nonce, status, bodyDigest });
     return;
--- a/packages/endpoint/streams/bufferEffects.ts
+++ b/packages/endpoint/streams/bufferEffects.ts
@@ -5,22 +5,22 @@
 import type { EndpointEffect, WorkOutcome } from '../types.js';
 
 /**
- * Builds the key of a reader.
+ * Formats the key of a reader.
  *
  * @param identity - stream and link
- * @returns text that differs between readers
+ * @returns a string that identifies the reader
  */
-export const toReaderKey = ({ stream, link }: ReaderIdentity): string =>
+export const formatReaderKey = ({ stream, link }: ReaderIdentity): string =>
   `${stream}/${link.toString()}`;
 
 /**
- * Tells the admission limit how a generation ended.
+ * Builds the effect that reports the outcome of a generation to the admission limit.
  *
- * @param generation - ended generation
- * @param result - how it ended
- * @returns the effect for the engine's child
+ * @param generation - generation that has ended
+ * @param result - result of the generation
+ * @returns the effect that posts the outcome to the `engine` child
  */
-export const describeOutcome = (
+export const buildWorkEnded = (
   generation: Generation,
   result: WorkOutcome['result'],
 ): EndpointEffect => {
@@ -39,11 +39,11 @@
 };
 
 /**
- * Translates an effect of the buffer; a reader whose call is gone gets nothing.
+ * Translates an effect of a buffer. Messages to a reader whose call has ended are dropped.
  *
- * @param state - streams
- * @param generationId - generation of the buffer
- * @param effect - effect of its decision
+ * @param state - state of the `streams` child
+ * @param generationId - generation that the buffer belongs to
+ * @param effect - effect of the buffer's decision
  * @returns effects of the daemon
  */
 export const toEndpointEffects = (
@@ -53,20 +53,20 @@
 ): readonly EndpointEffect[] => {
   switch (effect.kind) {
     case 'send-chunks': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       const { firstNumber, chunks } = effect;
       return [{ kind: 'send-chunks', callId, firstNumber, choices: chunks }];
     }
     case 'send-finished': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       const { chunkCount, usage } = effect;
       const digest = state.generations.get(generationId)?.record?.digest ?? '';
       return [{ kind: 'send-finished', callId, chunkCount, usage, digest }];
     }
     case 'send-failed': {
-      const callId = state.calls.get(toReaderKey(effect));
+      const callId = state.callIds.get(formatReaderKey(effect));
       if (callId === undefined) return [];
       return [{ kind: 'send-failure', callId, failure: effect.failure }];
     }
@@ -76,7 +76,7 @@
       return [{ kind: 'set-engine-flow', generationId, flow: 'flowing' }];
     case 'cancel-engine': {
       const generation = state.generations.get(generationId);
-      const ended = generation === undefined ? [] : [describeOutcome(generation, 'cancelled')];
+      const ended = generation === undefined ? [] : [buildWorkEnded(generation, 'cancelled')];
       return [
         { kind: 'cancel-generation', generationId },
         ...ended,
