--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -10,10 +10,10 @@
   toAttemptOutcome,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlace } from './placing.js';
+import { selectPlacement } from './placing.js';
 import { createRequestBase } from './requestBase.js';
-import { addSuccess, decideNextAttempt } from './retrying.js';
-import type { CallState, ClassPolicy, KeyedState, Placed } from './types.js';
+import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
+import type { CallState, ClassPolicy, KeyedState, RequestPlacement } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
 import type { EntryEffect } from '../events.js';
@@ -56,7 +56,7 @@
 export const buildCallEffects = (
   state: CallState | KeyedState,
   request: ServiceRequest,
-  place: Placed,
+  placement: RequestPlacement,
   nonce: string | null,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
@@ -68,14 +68,14 @@
       name: 'attempt-started',
       details: {
         requestId: request.requestId,
-        endpoint: place.endpoint,
+        endpoint: placement.endpoint,
         data: { attempt, ...(nonce === null ? {} : { nonce }) },
       },
     },
     {
       kind: 'call-endpoint',
       call: {
-        url: place.url,
+        url: placement.url,
         requestId: request.requestId,
         attempt,
         customer: request.customer,
@@ -86,7 +86,7 @@
         path: request.path,
         headers: request.headers,
         body: request.body,
-        incarnation: place.incarnation,
+        incarnation: placement.incarnation,
         nonce,
         key: state.kind === 'keyed' ? state.key : request.key,
         deadlineMs: Math.max(1, state.deadlineAt - inputs.now()),
@@ -104,7 +104,7 @@
  * @returns the step; the call waits in the queue when no endpoint has room
  */
 export const placeCall = (state: CallState, inputs: RequestsInputs): RequestStep => {
-  const result = selectPlace(state, inputs);
+  const result = selectPlacement(state, inputs);
   switch (result.kind) {
     case 'wait':
       return enqueueRequest(state, result.reason);
@@ -115,14 +115,14 @@
     case 'placed': {
       const next: CallState = {
         ...state,
-        place: result.place,
+        placement: result.placement,
         waiting: 'no',
         attempts: state.attempts + 1,
       };
       return toStep<CallState, EntryEffect>(
         next,
         ...result.effects,
-        ...buildCallEffects(next, next.request, result.place, null, inputs),
+        ...buildCallEffects(next, next.request, result.placement, null, inputs),
       );
     }
     default:
@@ -147,7 +147,7 @@
   const now = inputs.now();
   const { className } = state.policy;
   releaseAttempt(state, 'well', inputs);
-  addSuccess(state, inputs);
+  recordRequestSuccess(state, inputs);
   return toStep<CallState | null, EntryEffect>(
     null,
     { kind: 'send-answer', requestId, answer },
@@ -158,7 +158,7 @@
       name: 'request-finished',
       details: {
         requestId,
-        ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+        ...(state.placement === null ? {} : { endpoint: state.placement.endpoint }),
         data: { status: answer.status, class: className, durationMs: Math.round(now - receivedAt) },
       },
     },
@@ -188,8 +188,8 @@
       const ended = logAttemptEnd(state, completion.failure);
       const next = decideNextAttempt(state, completion.failure, inputs);
       if (next.kind === 'give-up') return failRequest(state, next.failure, inputs, [ended]);
-      const again: CallState = { ...state, ...next.changes, place: null };
-      return toStep<CallState, EntryEffect>(again, ended, ...next.effects);
+      const retrying: CallState = { ...state, ...next.changes, placement: null };
+      return toStep<CallState, EntryEffect>(retrying, ended, ...next.effects);
     }
     default:
       return assertNever(completion);
--- a/packages/entry/requests/constants.ts
+++ b/packages/entry/requests/constants.ts
@@ -8,10 +8,10 @@
 export const TICK_MS = 50;
 
 /** Waiting requests that are tried for each event that may have opened room. */
-export const TRIES_PER_EVENT = 64;
+export const MAX_TRIES_PER_EVENT = 64;
 
 /** Pause before a request that was bounced by every endpoint is tried again. */
-export const BOUNCE_PAUSE_MS = 25;
+export const REFUSAL_BACKOFF_MS = 25;
 
 /** Time to the deadline below which another attempt is not worth its cost. */
 export const MIN_ATTEMPT_MS = 20;
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -13,7 +13,7 @@
   OpenCall,
   OpenGeneration,
 } from './endpointMessages.js';
-import { checkSent, getReason } from './transportErrors.js';
+import { checkSent, getErrorMessage } from './transportErrors.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { GenerationId, Incarnation } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
@@ -67,8 +67,8 @@
   const links = new Map<string, AbortController>();
 
   const connect = (url: string): EndpointRpc => {
-    const known = connections.get(url);
-    if (known !== undefined) return known.client;
+    const existing = connections.get(url);
+    if (existing !== undefined) return existing.client;
     const manager = createPeerSession(url);
     const transport = createConnectTransport({
       baseUrl: url,
@@ -118,7 +118,7 @@
     }
   };
 
-  const readLink = async (open: OpenGeneration): Promise<void> => {
+  const readGeneration = async (open: OpenGeneration): Promise<void> => {
     const { requestId, generationId, link } = open;
     const key: LinkKey = { requestId, generationId, link };
     const tooLarge = checkBodySize(open.body, 'body', 'not-run');
@@ -129,7 +129,7 @@
     const controller = new AbortController();
     const linkId = getLinkId(generationId, link);
     links.set(linkId, controller);
-    const opening = setTimeout(() => {
+    const openTimer = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
     const client = connect(open.url);
@@ -156,17 +156,17 @@
       });
       const events = client.generate(message, { signal: controller.signal });
       for await (const event of events) {
-        clearTimeout(opening);
+        clearTimeout(openTimer);
         if (postEvent(key, event) === 'ended') return;
       }
       post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
     } catch (error) {
       if (!links.has(linkId)) return;
       releaseConnection(open.url, client, error);
-      const reason = getReason(error);
+      const reason = getErrorMessage(error);
       post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
     } finally {
-      clearTimeout(opening);
+      clearTimeout(openTimer);
       links.delete(linkId);
     }
   };
@@ -194,7 +194,7 @@
   };
 
   const toTransportFailure = (error: unknown): Failure => {
-    const reason = getReason(error);
+    const reason = getErrorMessage(error);
     if (checkSent(error) === 'unsent') return createFailure('not-run', 'endpoint-lost', reason);
     const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
     return createFailure(
@@ -205,7 +205,7 @@
     );
   };
 
-  const callOnce = async (call: OpenCall): Promise<void> => {
+  const sendCall = async (call: OpenCall): Promise<void> => {
     const { requestId, attempt } = call;
     const tooLarge = checkBodySize(call.body, 'body', 'not-run');
     if (tooLarge !== null) {
@@ -253,9 +253,9 @@
     }
   };
 
-  const askFence = async (question: FenceQuestion): Promise<void> => {
-    const { requestId, nonce, incarnation } = question;
-    const client = connect(question.url);
+  const sendFence = async (command: FenceQuestion): Promise<void> => {
+    const { requestId, nonce, incarnation } = command;
+    const client = connect(command.url);
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
@@ -263,8 +263,8 @@
       const result = toFenceAnswer(response.result, response.answer);
       post({ kind: 'fence-answered', requestId, nonce, result });
     } catch (error) {
-      releaseConnection(question.url, client, error);
-      const result: FenceAnswer = { kind: 'unreachable', reason: getReason(error) };
+      releaseConnection(command.url, client, error);
+      const result: FenceAnswer = { kind: 'unreachable', reason: getErrorMessage(error) };
       post({ kind: 'fence-answered', requestId, nonce, result });
     }
   };
@@ -287,7 +287,7 @@
   };
 
   return {
-    openGeneration: (open) => void readLink(open),
+    openGeneration: (open) => void readGeneration(open),
     closeLink: (generationId, link) => {
       const linkId = getLinkId(generationId, link);
       const controller = links.get(linkId);
@@ -296,8 +296,8 @@
     },
     cancelGeneration: (url, generationId, incarnation) =>
       void sendCancel(url, generationId, incarnation),
-    callEndpoint: (call) => void callOnce(call),
-    fenceNonce: (question) => void askFence(question),
+    callEndpoint: (call) => void sendCall(call),
+    fenceNonce: (command) => void sendFence(command),
     close: () => {
       for (const controller of links.values()) controller.abort();
       links.clear();
--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -10,7 +10,7 @@
  * @param answer - answer of the endpoint
  * @returns the answer for the intent
  */
-export const toStored = (answer: ServiceAnswer): StoredAnswer => ({
+export const toStoredAnswer = (answer: ServiceAnswer): StoredAnswer => ({
   ...answer,
   bodyDigest: createHash('sha256').update(answer.body).digest('base64url'),
 });
@@ -30,7 +30,7 @@
     case 'unreachable':
       return { kind: 'unreachable' };
     case 'finished': {
-      const stored = answer.answer === null ? null : toStored(answer.answer);
+      const stored = answer.answer === null ? null : toStoredAnswer(answer.answer);
       return {
         kind: 'finished',
         answer: stored,
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -9,13 +9,13 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestsInputs } from './inputs.js';
-import { openResume, openStart } from './openLink.js';
+import { buildResumeEffects, buildStartEffect } from './openLink.js';
 import { measureChunks, toDeliveryEvent } from './links.js';
 import type { LinkCompletion } from './links.js';
-import { selectPlace } from './placing.js';
+import { selectPlacement } from './placing.js';
 import { createRequestBase } from './requestBase.js';
-import { addSuccess, decideNextAttempt } from './retrying.js';
-import type { ClassPolicy, GenerationState, Placed } from './types.js';
+import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
+import type { ClassPolicy, GenerationState, RequestPlacement } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { GenerationId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
@@ -68,17 +68,17 @@
  */
 export const startGenerationAt = (
   state: GenerationState,
-  place: Placed,
+  placement: RequestPlacement,
   generationId: GenerationId,
   nonce: string | null,
   inputs: RequestsInputs,
 ): Step<GenerationState, EntryEffect> => {
-  const { endpoint, incarnation } = place;
+  const { endpoint, incarnation } = placement;
   const source: GenerationSource = { generationId, endpoint, incarnation };
   const step = decideDelivery(state.delivery, { kind: 'attempt-started', source });
   const next: GenerationState = {
     ...state,
-    place,
+    placement,
     waiting: 'no',
     attempts: state.attempts + 1,
     delivery: step.state,
@@ -95,7 +95,7 @@
         data: { generationId, attempt: next.attempts, ...(nonce === null ? {} : { nonce }) },
       },
     },
-    openStart(next, place, generationId, nonce, inputs),
+    buildStartEffect(next, placement, generationId, nonce, inputs),
   );
 };
 
@@ -107,7 +107,7 @@
  * @returns the step; the request waits in the queue when no endpoint has room
  */
 export const placeGeneration = (state: GenerationState, inputs: RequestsInputs): GenerationStep => {
-  const result = selectPlace(state, inputs);
+  const result = selectPlacement(state, inputs);
   switch (result.kind) {
     case 'wait':
       return enqueueRequest(state, result.reason);
@@ -116,7 +116,7 @@
     case 'fail':
       return failRequest(state, result.failure, inputs);
     case 'placed': {
-      const step = startGenerationAt(state, result.place, inputs.createId(), null, inputs);
+      const step = startGenerationAt(state, result.placement, inputs.createId(), null, inputs);
       return toStep<GenerationState, EntryEffect>(step.state, ...result.effects, ...step.effects);
     }
     default:
@@ -147,7 +147,7 @@
     ...createRequestBase(policy, inputs),
     request,
     attempts: 1,
-    place: {
+    placement: {
       endpoint,
       incarnation,
       engineStart: '',
@@ -168,20 +168,20 @@
   return applyEffects(state, resumed.effects, inputs);
 };
 
-const closeFinished = (
+const finishGeneration = (
   state: GenerationState,
   effect: Extract<DeliveryEffect, { readonly kind: 'finish' }>,
   inputs: RequestsInputs,
 ): GenerationStep => {
-  const { request, policy, place } = state;
+  const { request, policy, placement } = state;
   const { requestId } = request;
   releaseAttempt(state, 'well', inputs);
-  addSuccess(state, inputs);
-  if (request.kind === 'generation' && place !== null) {
+  recordRequestSuccess(state, inputs);
+  if (request.kind === 'generation' && placement !== null) {
     const key = {
       className: policy.className,
       customer: request.customer,
-      version: place.version,
+      version: placement.version,
     };
     inputs.survival.observeFinished(key, effect.chunkCount);
   }
@@ -194,7 +194,7 @@
       name: 'request-finished',
       details: {
         requestId,
-        ...(place === null ? {} : { endpoint: place.endpoint }),
+        ...(placement === null ? {} : { endpoint: placement.endpoint }),
         data: {
           chunks: effect.chunkCount,
           class: policy.className,
@@ -212,13 +212,13 @@
  * @param source - where it runs
  * @returns the effect
  */
-export const closeLinkOf = (state: GenerationState, source: GenerationSource): EntryEffect => ({
+export const buildCloseLink = (state: GenerationState, source: GenerationSource): EntryEffect => ({
   kind: 'close-link',
   generationId: source.generationId,
   link: state.delivery.link,
 });
 
-const restart = (
+const restartGeneration = (
   state: GenerationState,
   failure: Failure,
   inputs: RequestsInputs,
@@ -228,18 +228,18 @@
   const next = decideNextAttempt(state, failure, inputs);
   switch (next.kind) {
     case 'again': {
-      const again: GenerationState = {
+      const retrying: GenerationState = {
         ...state,
         ...next.changes,
-        place: null,
+        placement: null,
         firstChunkAt: null,
         lastChunkAt: null,
       };
-      return toStep<GenerationState, EntryEffect>(again, ended, ...next.effects);
+      return toStep<GenerationState, EntryEffect>(retrying, ended, ...next.effects);
     }
     case 'give-up': {
-      const given = decideDelivery(state.delivery, { kind: 'gave-up', failure: next.failure });
-      const step = applyEffects({ ...state, delivery: given.state }, given.effects, inputs);
+      const gaveUp = decideDelivery(state.delivery, { kind: 'gave-up', failure: next.failure });
+      const step = applyEffects({ ...state, delivery: gaveUp.state }, gaveUp.effects, inputs);
       return toStep<GenerationState | null, EntryEffect>(
         step.state as GenerationState | null,
         ended,
@@ -262,8 +262,8 @@
     const current = step.state ?? state;
     if (current.kind !== 'generation') break;
     const next = applyDeliveryEffect(current, effect, inputs);
-    const over = step.state === null ? null : next.state;
-    step = { state: over, effects: [...step.effects, ...next.effects] };
+    const nextState = step.state === null ? null : next.state;
+    step = { state: nextState, effects: [...step.effects, ...next.effects] };
   }
   return step;
 };
@@ -289,25 +289,30 @@
         requestId,
         customer,
         model:
-          state.request.kind === 'generation' ? state.request.model : (state.place?.model ?? ''),
+          state.request.kind === 'generation'
+            ? state.request.model
+            : (state.placement?.model ?? ''),
         source: effect.source,
         fromNumber: effect.fromNumber,
         chunks: effect.chunks,
         pace: 'live',
       });
     case 'finish':
-      return closeFinished(state, effect, inputs);
+      return finishGeneration(state, effect, inputs);
     case 'fail':
       return failRequest(state, effect.failure, inputs);
     case 'resume':
-      return toStep<GenerationState, EntryEffect>(state, ...openResume(state, effect, inputs));
+      return toStep<GenerationState, EntryEffect>(
+        state,
+        ...buildResumeEffects(state, effect, inputs),
+      );
     case 'schedule-resume': {
       const { generationId, link, delayMs } = effect;
       const event = { to: 'requests', kind: 'resume-due', requestId, generationId, link } as const;
       return toStep<GenerationState, EntryEffect>(state, { kind: 'schedule', delayMs, event });
     }
     case 'restart-allowed':
-      return restart(state, effect.failure, inputs);
+      return restartGeneration(state, effect.failure, inputs);
     case 'hand-over':
       return toStep<null, EntryEffect>(null, {
         kind: 'hand-over',
@@ -318,11 +323,11 @@
       });
     case 'detach':
       releaseAttempt(state, 'well', inputs);
-      return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source));
+      return toStep<GenerationState, EntryEffect>(state, buildCloseLink(state, effect.source));
     case 'cancel-generation':
-      return toStep<GenerationState, EntryEffect>(state, closeLinkOf(state, effect.source), {
+      return toStep<GenerationState, EntryEffect>(state, buildCloseLink(state, effect.source), {
         kind: 'cancel-generation',
-        url: state.place?.url ?? '',
+        url: state.placement?.url ?? '',
         generationId: effect.source.generationId,
         incarnation: effect.source.incarnation,
       });
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -1,6 +1,6 @@
 import { buildCallEffects, sendAnswer } from './call.js';
 import type { CallCompletion } from './call.js';
-import { toStored } from './fenceResults.js';
+import { toStoredAnswer } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
 import {
   applyKeyedDelivery,
@@ -19,7 +19,7 @@
   reportCrash,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlace } from './placing.js';
+import { selectPlacement } from './placing.js';
 import { createRequestBase } from './requestBase.js';
 import type { ClassPolicy, KeyedState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -73,7 +73,7 @@
   };
 };
 
-const toView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
+const toIntentView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
   const { log, standing, nextOffset, kept } = inputs.getIntentLog();
   return {
     now: inputs.now(),
@@ -95,7 +95,7 @@
  * @returns the step; the call waits in the queue when no endpoint has room
  */
 export const placeKeyed = (state: KeyedState, inputs: RequestsInputs): RequestStep => {
-  const result = selectPlace(state, inputs);
+  const result = selectPlacement(state, inputs);
   switch (result.kind) {
     case 'wait':
       return enqueueRequest(state, result.reason);
@@ -104,8 +104,8 @@
     case 'fail':
       return applyIntent(state, { kind: 'endpoint-unavailable', failure: result.failure }, inputs);
     case 'placed': {
-      const { endpoint, incarnation } = result.place;
-      const placed: KeyedState = { ...state, place: result.place, waiting: 'no' };
+      const { endpoint, incarnation } = result.placement;
+      const placed: KeyedState = { ...state, placement: result.placement, waiting: 'no' };
       const nonce = inputs.createId();
       const step = applyIntent(
         placed,
@@ -125,13 +125,18 @@
   inputs: RequestsInputs,
 ): RequestStep => {
   const url = inputs.findReport(effect.endpoint)?.rpcUrl;
-  if (url === undefined || state.place === null) {
+  if (url === undefined || state.placement === null) {
     const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
     const result = { kind: 'refused', failure } as const;
     return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
   }
-  const place = { ...state.place, url, endpoint: effect.endpoint, incarnation: effect.incarnation };
-  const next: KeyedState = { ...state, place, attempts: state.attempts + 1 };
+  const placement = {
+    ...state.placement,
+    url,
+    endpoint: effect.endpoint,
+    incarnation: effect.incarnation,
+  };
+  const next: KeyedState = { ...state, placement, attempts: state.attempts + 1 };
   const active: EntryEffect = {
     kind: 'log',
     name: 'intent-active',
@@ -140,11 +145,11 @@
   const { request } = state;
   switch (request.kind) {
     case 'service': {
-      const calls = buildCallEffects(next, request, place, effect.nonce, inputs);
+      const calls = buildCallEffects(next, request, placement, effect.nonce, inputs);
       return toStep<KeyedState, EntryEffect>(next, active, ...calls);
     }
     case 'generation': {
-      const step = startKeyedStream(next, request, place, effect.nonce, inputs);
+      const step = startKeyedStream(next, request, placement, effect.nonce, inputs);
       return toStep<KeyedState, EntryEffect>(step.state, active, ...step.effects);
     }
     default:
@@ -231,7 +236,7 @@
     case 'choose-endpoint': {
       releaseAttempt(state, 'refused', inputs);
       const excluded = new Set([...state.excluded, ...effect.exclude]);
-      return placeKeyed({ ...state, place: null, excluded }, inputs);
+      return placeKeyed({ ...state, placement: null, excluded }, inputs);
     }
     case 'append-records':
       return appendRecords(state, effect);
@@ -280,7 +285,7 @@
   event: IntentEvent,
   inputs: RequestsInputs,
 ): RequestStep => {
-  const step = decideIntent(state.intent, event, toView(state, inputs));
+  const step = decideIntent(state.intent, event, toIntentView(state, inputs));
   let current: KeyedState = { ...state, intent: step.state };
   const effects: EntryEffect[] = [];
   for (const effect of step.effects) {
@@ -294,7 +299,7 @@
 const toDispatchResult = (completion: CallCompletion): DispatchResult => {
   switch (completion.kind) {
     case 'call-answered':
-      return { kind: 'answered', answer: toStored(completion.answer) };
+      return { kind: 'answered', answer: toStoredAnswer(completion.answer) };
     case 'call-failed': {
       const { failure } = completion;
       return { kind: failure.verdict === 'not-run' ? 'refused' : 'unknown', failure };
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -5,7 +5,7 @@
 import { createKeyed } from './keyed.js';
 import { applyKeyedDelivery, applyKeyedLink, startKeyedStream } from './keyedStream.js';
 import type { LinkCompletion } from './links.js';
-import type { KeyedState, Placed } from './types.js';
+import type { KeyedState, RequestPlacement } from './types.js';
 import { createFailure } from '../../core/verdict.js';
 import type { DeliveryEvent } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
@@ -16,7 +16,7 @@
 const NONCE = 'nonce-1';
 const TOTAL = 3;
 
-const PLACE: Placed = {
+const PLACEMENT: RequestPlacement = {
   endpoint: 'endpoint-1',
   incarnation: 'i',
   engineStart: 's',
@@ -132,7 +132,7 @@
     clock.now += action.afterMs;
     return applyKeyedLink(state, action.completion, inputs);
   }
-  const { endpoint, incarnation } = PLACE;
+  const { endpoint, incarnation } = PLACEMENT;
   const event: DeliveryEvent =
     action.event === 'endpoint-gone'
       ? { kind: 'endpoint-gone', endpoint, incarnation }
@@ -155,7 +155,7 @@
     const inputs = buildInputs(clock);
     const policy = { ...DEFAULT_CLASS, repeat: 'never' } as const;
     const keyed = createKeyed(REQUEST, policy, inputs);
-    const started = startKeyedStream(keyed, REQUEST, PLACE, NONCE, inputs);
+    const started = startKeyedStream(keyed, REQUEST, PLACEMENT, NONCE, inputs);
     let { state } = started;
     const effects = [...started.effects];
     let ends = 0;
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -1,6 +1,6 @@
 import {
   applyDeliveryEffect,
-  closeLinkOf,
+  buildCloseLink,
   createGeneration,
   startGenerationAt,
 } from './generation.js';
@@ -14,7 +14,7 @@
   reportCrash,
   toAttemptOutcome,
 } from './outcomes.js';
-import type { GenerationState, KeyedState, Placed } from './types.js';
+import type { GenerationState, KeyedState, RequestPlacement } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
@@ -52,7 +52,7 @@
 export const startKeyedStream = (
   state: KeyedState,
   request: GenerationRequest,
-  place: Placed,
+  placement: RequestPlacement,
   nonce: string,
   inputs: RequestsInputs,
 ): Step<KeyedState, EntryEffect> => {
@@ -60,22 +60,26 @@
   const fresh = createGeneration(request, policy, inputs);
   // The start counts the attempt again.
   const generation = { ...fresh, deadlineAt, attempts: attempts - 1 };
-  const step = startGenerationAt(generation, place, nonce, nonce, inputs);
+  const step = startGenerationAt(generation, placement, nonce, nonce, inputs);
   return toStep({ ...state, stream: step.state }, ...step.effects);
 };
 
-const toEnd = (failure: Failure): DispatchResult => ({
+const toFailedResult = (failure: Failure): DispatchResult => ({
   kind: failure.verdict === 'not-run' ? 'refused' : 'unknown',
   failure,
 });
 
-const toAnswered = (digest: string): DispatchResult => ({
+const toAnsweredResult = (digest: string): DispatchResult => ({
   kind: 'answered',
   // The answer was written chunk by chunk; only its digest is recorded.
   answer: { status: STATUS_OK, headers: [], body: new Uint8Array(), bodyDigest: digest },
 });
 
-const MOVED = createFailure('may-have-run', 'stream-lost', 'the caller went on elsewhere');
+const HANDED_OVER_FAILURE = createFailure(
+  'may-have-run',
+  'stream-lost',
+  'the caller went on elsewhere',
+);
 
 interface EffectStep {
   readonly effects: readonly EntryEffect[];
@@ -98,25 +102,25 @@
       return { effects: applyDeliveryEffect(stream, effect, inputs).effects };
     case 'finish': {
       const { effects } = applyDeliveryEffect(stream, effect, inputs);
-      return { effects, ended: toAnswered(digest), caller: 'served' };
+      return { effects, ended: toAnsweredResult(digest), caller: 'served' };
     }
     case 'fail': {
       const { effects } = failRequest(stream, effect.failure, inputs);
-      return { effects, ended: toEnd(effect.failure), caller: 'served' };
+      return { effects, ended: toFailedResult(effect.failure), caller: 'served' };
     }
     case 'hand-over': {
       releaseAttempt(stream, 'well', inputs);
       const { effects } = applyDeliveryEffect(stream, effect, inputs);
-      return { effects, ended: toEnd(MOVED), caller: 'served' };
+      return { effects, ended: toFailedResult(HANDED_OVER_FAILURE), caller: 'served' };
     }
     case 'restart-allowed': {
       const { failure } = effect;
       releaseAttempt(stream, toAttemptOutcome(failure), inputs);
-      return { effects: [logAttemptEnd(stream, failure)], ended: toEnd(failure) };
+      return { effects: [logAttemptEnd(stream, failure)], ended: toFailedResult(failure) };
     }
     // The generation goes on: its caller may ask for the answer by its key.
     case 'cancel-generation':
-      return { effects: [closeLinkOf(stream, effect.source)] };
+      return { effects: [buildCloseLink(stream, effect.source)] };
     default:
       return assertNever(effect);
   }
@@ -135,10 +139,10 @@
   let { caller } = state;
   const effects: EntryEffect[] = [];
   for (const effect of step.effects) {
-    const done = applyEffect(next, effect, digest, inputs);
-    effects.push(...done.effects);
-    ended = done.ended ?? ended;
-    caller = done.caller ?? caller;
+    const effectStep = applyEffect(next, effect, digest, inputs);
+    effects.push(...effectStep.effects);
+    ended = effectStep.ended ?? ended;
+    caller = effectStep.caller ?? caller;
   }
   return { state: { ...state, caller, stream: ended === null ? next : null }, effects, ended };
 };
@@ -202,7 +206,7 @@
   state: KeyedState,
   request: GenerationRequest,
   answer: StoredAnswer,
-  place: NoncePlacement,
+  placement: NoncePlacement,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
   const { requestId, customer, model } = request;
@@ -213,7 +217,7 @@
     case 'failed':
       return failRequest(state, stored.failure, inputs).effects;
     case 'finished': {
-      const { nonce, endpoint, incarnation } = place;
+      const { nonce, endpoint, incarnation } = placement;
       releaseAttempt(state, 'well', inputs);
       return [
         {
--- a/packages/entry/requests/links.ts
+++ b/packages/entry/requests/links.ts
@@ -91,7 +91,7 @@
     name: 'stream-stalled',
     details: {
       requestId: state.request.requestId,
-      ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+      ...(state.placement === null ? {} : { endpoint: state.placement.endpoint }),
       data: {
         stallMs: Math.round(gap),
         cause: state.delivery.trouble === null ? 'engine' : 'link',
--- a/packages/entry/requests/openLink.ts
+++ b/packages/entry/requests/openLink.ts
@@ -1,5 +1,5 @@
 import type { RequestsInputs } from './inputs.js';
-import type { GenerationState, Placed } from './types.js';
+import type { GenerationState, RequestPlacement } from './types.js';
 import type { GenerationId } from '../../core/ids.js';
 import type { DeliveryEffect } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
@@ -14,9 +14,9 @@
  * @param inputs - clock
  * @returns the effect that opens the first link
  */
-export const openStart = (
+export const buildStartEffect = (
   state: GenerationState,
-  place: Placed,
+  placement: RequestPlacement,
   generationId: GenerationId,
   nonce: string | null,
   inputs: RequestsInputs,
@@ -29,10 +29,10 @@
       requestId: request.requestId,
       generationId,
       link: 0,
-      url: place.url,
+      url: placement.url,
       mode: 'start',
       fromNumber: 0,
-      incarnation: place.incarnation,
+      incarnation: placement.incarnation,
       customer: request.customer,
       className: policy.className,
       route: 'chat',
@@ -54,12 +54,12 @@
  * @param inputs - clock
  * @returns effects that close the link before, log, and open the new one
  */
-export const openResume = (
+export const buildResumeEffects = (
   state: GenerationState,
   effect: Extract<DeliveryEffect, { readonly kind: 'resume' }>,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
-  const { request, policy, place } = state;
+  const { request, policy, placement } = state;
   const { source, fromNumber, link } = effect;
   const { generationId } = source;
   const opened: EntryEffect = {
@@ -68,7 +68,7 @@
       requestId: request.requestId,
       generationId,
       link,
-      url: place?.url ?? '',
+      url: placement?.url ?? '',
       mode: 'resume',
       fromNumber,
       incarnation: source.incarnation,
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -22,10 +22,10 @@
   deadlineAt: 60_000,
   excluded: new Set(),
   attempts: 1,
-  bounces: 0,
-  place: null,
+  refusals: 0,
+  placement: null,
   waiting: 'no',
-  lastFailureText: '',
+  lastFailureReason: '',
   verdict: 'not-run',
 } as unknown as CallState;
 
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -43,7 +43,7 @@
           : 'request-failed',
       details: {
         requestId,
-        ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+        ...(state.placement === null ? {} : { endpoint: state.placement.endpoint }),
         data: {
           code: failure.code,
           verdict: failure.verdict,
@@ -71,7 +71,7 @@
     ...state,
     waiting: 'in-queue',
     excluded: NO_ENDPOINTS,
-    lastFailureText: reason,
+    lastFailureReason: reason,
   });
 
 /**
@@ -126,20 +126,21 @@
   failure: Failure,
   inputs: RequestsInputs,
 ): void => {
-  const { place } = state;
-  if (place === null || failure.code !== 'endpoint-lost' || failure.verdict === 'not-run') return;
+  const { placement } = state;
+  if (placement === null || failure.code !== 'endpoint-lost' || failure.verdict === 'not-run')
+    return;
   inputs.suspicions.apply({
     kind: 'endpoint-lost',
     cause: 'crash',
-    endpoint: place.endpoint,
-    incarnation: place.engineStart,
+    endpoint: placement.endpoint,
+    incarnation: placement.engineStart,
     reported: [],
     now: inputs.now(),
   });
 };
 
 /** Refusals that tell only of room or of a change that the next heartbeat will show. */
-const BOUNCE_CODES: ReadonlySet<FailureCode> = new Set([
+const ENDPOINT_REFUSAL_CODES: ReadonlySet<FailureCode> = new Set([
   'overloaded',
   'draining',
   'data-centre-out',
@@ -154,8 +155,8 @@
  * @param failure - how the attempt ended
  * @returns true for a bounce
  */
-export const isBounce = (failure: Failure): boolean =>
-  failure.verdict === 'not-run' && BOUNCE_CODES.has(failure.code);
+export const isEndpointRefusal = (failure: Failure): boolean =>
+  failure.verdict === 'not-run' && ENDPOINT_REFUSAL_CODES.has(failure.code);
 
 /**
  * Describes the end of an attempt for the time line.
@@ -169,7 +170,7 @@
   name: 'attempt-ended',
   details: {
     requestId: state.request.requestId,
-    ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+    ...(state.placement === null ? {} : { endpoint: state.placement.endpoint }),
     data: {
       verdict: failure?.verdict ?? 'ran',
       code: failure?.code ?? 'ok',
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -1,6 +1,6 @@
 import { NO_VERSION } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
-import type { Placed, RequestState } from './types.js';
+import type { RequestPlacement, RequestState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Failure } from '../../core/verdict.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
@@ -14,8 +14,12 @@
 import type { EntryEffect } from '../events.js';
 
 /** Result of one try to place a request. */
-export type PlacingResult =
-  | { readonly kind: 'placed'; readonly place: Placed; readonly effects: readonly EntryEffect[] }
+export type PlacementResult =
+  | {
+      readonly kind: 'placed';
+      readonly placement: RequestPlacement;
+      readonly effects: readonly EntryEffect[];
+    }
   | { readonly kind: 'wait'; readonly reason: string }
   /** The request is suspected of crashing endpoints and waits until it may run alone. */
   | { readonly kind: 'hold' }
@@ -52,7 +56,7 @@
   }
 };
 
-const listAllowed = (
+const listAllowedEndpoints = (
   endpoints: readonly EndpointView[],
   rule: PlacementRule,
 ): readonly EndpointView[] => {
@@ -113,54 +117,58 @@
   },
 });
 
-const trackPlace = (state: RequestState, place: Placed, inputs: RequestsInputs): void => {
+const recordPlacement = (
+  state: RequestState,
+  placement: RequestPlacement,
+  inputs: RequestsInputs,
+): void => {
   const { request, policy } = state;
   const { requestId, fingerprint } = request;
   inputs.own.trackPlacement({
     requestId,
-    endpoint: place.endpoint,
+    endpoint: placement.endpoint,
     className: policy.className,
     customer: request.customer,
-    version: place.version,
+    version: placement.version,
     promptTokens: getPromptTokens(state),
     generated: 0,
     report: 'not-included',
-    placedAt: place.placedAt,
+    placedAt: placement.placedAt,
   });
   inputs.suspicions.apply({
     kind: 'attempt-started',
     requestId,
     fingerprint,
-    endpoint: place.endpoint,
-    incarnation: place.engineStart,
+    endpoint: placement.endpoint,
+    incarnation: placement.engineStart,
   });
 };
 
-const toPlace = (
+const applyPlacement = (
   state: RequestState,
   decision: Extract<PlacementDecision, { readonly kind: 'place' }>,
   view: EndpointView | undefined,
   inputs: RequestsInputs,
-): PlacingResult => {
-  const report = inputs.findReport(decision.endpoint);
-  if (view === undefined || report === undefined) {
+): PlacementResult => {
+  const heartbeat = inputs.findReport(decision.endpoint);
+  if (view === undefined || heartbeat === undefined) {
     return { kind: 'wait', reason: 'the chosen endpoint has no address yet' };
   }
-  const place: Placed = {
+  const placement: RequestPlacement = {
     endpoint: decision.endpoint,
     incarnation: decision.incarnation,
-    engineStart: report.engineStart,
-    url: report.rpcUrl,
+    engineStart: heartbeat.engineStart,
+    url: heartbeat.rpcUrl,
     model: view.model ?? '',
     version: view.version ?? NO_VERSION,
     placedAt: inputs.now(),
   };
-  trackPlace(state, place, inputs);
-  return { kind: 'placed', place, effects: [logPlacement(state, decision)] };
+  recordPlacement(state, placement, inputs);
+  return { kind: 'placed', placement, effects: [logPlacement(state, decision)] };
 };
 
 /** Takes the next target only when no endpoint of the one before takes work at all. */
-const choosePlace = (
+const choosePlacementByTarget = (
   state: RequestState,
   endpoints: readonly EndpointView[],
   inputs: RequestsInputs,
@@ -189,12 +197,12 @@
  * @param inputs - endpoints, estimates, suspicions and own placements
  * @returns the place, or that the request waits, is held or fails
  */
-export const selectPlace = (state: RequestState, inputs: RequestsInputs): PlacingResult => {
+export const selectPlacement = (state: RequestState, inputs: RequestsInputs): PlacementResult => {
   const rule = inputs.suspicions.checkPlacement(state.request.fingerprint, inputs.now());
   if (rule.kind === 'refuse') return { kind: 'fail', failure: rule.failure };
   if (rule.kind === 'hold') return { kind: 'hold' };
-  const endpoints = listAllowed(inputs.listEndpoints(), rule);
-  const decision = choosePlace(state, endpoints, inputs);
+  const endpoints = listAllowedEndpoints(inputs.listEndpoints(), rule);
+  const decision = choosePlacementByTarget(state, endpoints, inputs);
   switch (decision.kind) {
     case 'wait':
       return decision;
@@ -203,7 +211,7 @@
       return { kind: 'wait', reason: decision.failure.message };
     case 'place': {
       const view = endpoints.find(({ endpoint }) => endpoint === decision.endpoint);
-      return toPlace(state, decision, view, inputs);
+      return applyPlacement(state, decision, view, inputs);
     }
     default:
       return assertNever(decision);
--- a/packages/entry/requests/requestBase.ts
+++ b/packages/entry/requests/requestBase.ts
@@ -13,9 +13,9 @@
   deadlineAt: inputs.now() + policy.deadlineMs,
   excluded: new Set(),
   attempts: 0,
-  bounces: 0,
-  place: null,
+  refusals: 0,
+  placement: null,
   waiting: 'no',
-  lastFailureText: '',
+  lastFailureReason: '',
   verdict: 'not-run',
 });
--- a/packages/entry/requests/requestTable.ts
+++ b/packages/entry/requests/requestTable.ts
@@ -50,7 +50,7 @@
   const queued: EntryEffect = {
     kind: 'log',
     name: 'request-queued',
-    details: { requestId, data: { reason: request.lastFailureText } },
+    details: { requestId, data: { reason: request.lastFailureReason } },
   };
   const waiting = toWaitingRequest(request, context.inputs);
   const effects = context.state.queue.apply({ kind: 'enqueue', request: waiting });
@@ -92,8 +92,8 @@
   requestId: RequestId,
   decide: (request: RequestState) => RequestStep,
 ): Effects => {
-  const known = context.state.table.get(requestId);
-  return known === undefined ? [] : storeStep(context, requestId, decide(known));
+  const state = context.state.table.get(requestId);
+  return state === undefined ? [] : storeStep(context, requestId, decide(state));
 };
 
 /**
@@ -107,21 +107,22 @@
   context: RequestsContext,
   decide: (request: RequestState) => RequestStep | null,
 ): Effects =>
-  [...context.state.table.values()].flatMap((known) => {
-    const step = decide(known);
-    return step === null ? [] : storeStep(context, known.request.requestId, step);
+  [...context.state.table.values()].flatMap((state) => {
+    const step = decide(state);
+    return step === null ? [] : storeStep(context, state.request.requestId, step);
   });
 
 const refuseWaiting = (
-  known: RequestState,
+  state: RequestState,
   failure: Failure,
   inputs: RequestsInputs,
 ): RequestStep => {
-  const text = `${failure.message}: ${known.lastFailureText}`;
-  const explained = known.lastFailureText === '' ? failure : { ...failure, message: text };
-  return known.kind === 'keyed'
-    ? applyIntent(known, { kind: 'endpoint-unavailable', failure: explained }, inputs)
-    : failRequest(known, explained, inputs);
+  const detailedMessage = `${failure.message}: ${state.lastFailureReason}`;
+  const detailedFailure =
+    state.lastFailureReason === '' ? failure : { ...failure, message: detailedMessage };
+  return state.kind === 'keyed'
+    ? applyIntent(state, { kind: 'endpoint-unavailable', failure: detailedFailure }, inputs)
+    : failRequest(state, detailedFailure, inputs);
 };
 
 /**
@@ -138,8 +139,8 @@
   effects.flatMap((effect) => {
     if (effect.kind !== 'refuse') return [];
     const { requestId, failure } = effect;
-    return updateRequest(context, requestId, (known) =>
-      refuseWaiting(known, failure, context.inputs),
+    return updateRequest(context, requestId, (state) =>
+      refuseWaiting(state, failure, context.inputs),
     );
   });
 
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -122,7 +122,7 @@
 };
 
 const applyEndpointCompletion = (
-  known: RequestState,
+  state: RequestState,
   completion: EndpointCompletion,
   inputs: RequestsInputs,
 ): RequestStep => {
@@ -132,46 +132,46 @@
     case 'generation-finished':
     case 'generation-failed':
     case 'link-lost':
-      if (known.kind === 'generation') return applyCompletion(known, completion, inputs);
-      return known.kind === 'keyed'
-        ? applyKeyedLinkCompletion(known, completion, inputs)
-        : toStep(known);
+      if (state.kind === 'generation') return applyCompletion(state, completion, inputs);
+      return state.kind === 'keyed'
+        ? applyKeyedLinkCompletion(state, completion, inputs)
+        : toStep(state);
     case 'call-answered':
     case 'call-failed':
-      if (known.kind === 'call') return applyCallCompletion(known, completion, inputs);
-      return known.kind === 'keyed'
-        ? applyKeyedCompletion(known, completion, inputs)
-        : toStep(known);
+      if (state.kind === 'call') return applyCallCompletion(state, completion, inputs);
+      return state.kind === 'keyed'
+        ? applyKeyedCompletion(state, completion, inputs)
+        : toStep(state);
     case 'fence-answered': {
-      if (known.kind !== 'keyed') return toStep(known);
+      if (state.kind !== 'keyed') return toStep(state);
       const { nonce } = completion;
       const result = toFenceResult(completion.result);
-      return applyIntent(known, { kind: 'fence-answered', nonce, result }, inputs);
+      return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
     }
     default:
       return assertNever(completion);
   }
 };
 
-const releaseCaller = (known: RequestState, inputs: RequestsInputs): RequestStep => {
-  const { requestId } = known.request;
+const handleCallerGone = (state: RequestState, inputs: RequestsInputs): RequestStep => {
+  const { requestId } = state.request;
   const logged: EntryEffect = { kind: 'log', name: 'request-cancelled', details: { requestId } };
   inputs.suspicions.apply({ kind: 'abandoned', requestId });
-  switch (known.kind) {
+  switch (state.kind) {
     case 'generation': {
-      const step = applyDelivery(known, { kind: 'caller-gone' }, inputs);
-      releaseAttempt(known, 'refused', inputs);
+      const step = applyDelivery(state, { kind: 'caller-gone' }, inputs);
+      releaseAttempt(state, 'refused', inputs);
       return { state: null, effects: [logged, ...step.effects] };
     }
     case 'call':
-      releaseAttempt(known, 'refused', inputs);
+      releaseAttempt(state, 'refused', inputs);
       return { state: null, effects: [logged] };
     case 'keyed': {
-      const step = applyIntent(known, { kind: 'caller-gone' }, inputs);
+      const step = applyIntent(state, { kind: 'caller-gone' }, inputs);
       return { state: step.state, effects: [logged, ...step.effects] };
     }
     default:
-      return assertNever(known);
+      return assertNever(state);
   }
 };
 
@@ -190,41 +190,41 @@
     reported: [],
     now: inputs.now(),
   });
-  return updateAll(context, (known) =>
-    known.place?.endpoint === endpoint
-      ? applyStreamEvent(known, { kind: 'endpoint-gone', endpoint, incarnation }, inputs)
+  return updateAll(context, (state) =>
+    state.placement?.endpoint === endpoint
+      ? applyStreamEvent(state, { kind: 'endpoint-gone', endpoint, incarnation }, inputs)
       : null,
   );
 };
 
 /** Applies an event to the stream of a request; null for a request without one. */
 const applyStreamEvent = (
-  known: RequestState,
+  state: RequestState,
   event: DeliveryEvent,
   inputs: RequestsInputs,
 ): RequestStep | null => {
-  switch (known.kind) {
+  switch (state.kind) {
     case 'generation':
-      return applyDelivery(known, event, inputs);
+      return applyDelivery(state, event, inputs);
     case 'keyed':
-      return known.stream === null ? null : applyKeyedStreamEvent(known, event, inputs);
+      return state.stream === null ? null : applyKeyedStreamEvent(state, event, inputs);
     case 'call':
       return null;
     default:
-      return assertNever(known);
+      return assertNever(state);
   }
 };
 
 /** Hands the running streams over to other entry daemons, through their callers. */
 const transferStreams = (context: RequestsContext): Effects => {
   context.state.phase = 'handing-over';
-  return updateAll(context, (known) =>
-    applyStreamEvent(known, { kind: 'drain-ended' }, context.inputs),
+  return updateAll(context, (state) =>
+    applyStreamEvent(state, { kind: 'drain-ended' }, context.inputs),
   );
 };
 
-const retryRequest = (known: RequestState, inputs: RequestsInputs): RequestStep =>
-  known.waiting === 'for-retry' ? placeWaiting({ ...known, waiting: 'no' }, inputs) : toStep(known);
+const retryRequest = (state: RequestState, inputs: RequestsInputs): RequestStep =>
+  state.waiting === 'for-retry' ? placeWaiting({ ...state, waiting: 'no' }, inputs) : toStep(state);
 
 const handleConfiguration = (context: RequestsContext): Effects => {
   const { inputs } = context;
@@ -248,10 +248,10 @@
     case 'request-received':
       return receiveRequest(event.request, context);
     case 'caller-gone':
-      return updateRequest(context, event.requestId, (known) => releaseCaller(known, inputs));
+      return updateRequest(context, event.requestId, (state) => handleCallerGone(state, inputs));
     case 'endpoint-completed':
-      return updateRequest(context, event.completion.requestId, (known) =>
-        applyEndpointCompletion(known, event.completion, inputs),
+      return updateRequest(context, event.completion.requestId, (state) =>
+        applyEndpointCompletion(state, event.completion, inputs),
       );
     case 'resume-due': {
       const { requestId, generationId, link } = event;
@@ -259,30 +259,30 @@
       return updateRequest(
         context,
         requestId,
-        (known) => applyStreamEvent(known, due, inputs) ?? toStep(known),
+        (state) => applyStreamEvent(state, due, inputs) ?? toStep(state),
       );
     }
     case 'intent-timer': {
       const { requestId, timer, round } = event;
-      return updateRequest(context, requestId, (known) =>
-        known.kind === 'keyed'
-          ? applyIntent(known, { kind: 'timer', timer, round }, inputs)
-          : toStep(known),
+      return updateRequest(context, requestId, (state) =>
+        state.kind === 'keyed'
+          ? applyIntent(state, { kind: 'timer', timer, round }, inputs)
+          : toStep(state),
       );
     }
     case 'append-ended': {
       const { requestId, of, nonce } = event.owner;
       const ended = { kind: 'append-answered', of, nonce, result: event.result } as const;
-      return updateRequest(context, requestId, (known) =>
-        known.kind === 'keyed' ? applyIntent(known, ended, inputs) : toStep(known),
+      return updateRequest(context, requestId, (state) =>
+        state.kind === 'keyed' ? applyIntent(state, ended, inputs) : toStep(state),
       );
     }
     case 'intents-folded':
-      return updateAll(context, (known) =>
-        known.kind === 'keyed' ? applyIntent(known, { kind: 'folded' }, inputs) : null,
+      return updateAll(context, (state) =>
+        state.kind === 'keyed' ? applyIntent(state, { kind: 'folded' }, inputs) : null,
       );
     case 'retry-due':
-      return updateRequest(context, event.requestId, (known) => retryRequest(known, inputs));
+      return updateRequest(context, event.requestId, (state) => retryRequest(state, inputs));
     case 'configuration-updated':
       return handleConfiguration(context);
     case 'capacity-changed':
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -1,6 +1,6 @@
-import { BOUNCE_PAUSE_MS, MIN_ATTEMPT_MS } from './constants.js';
+import { MIN_ATTEMPT_MS, REFUSAL_BACKOFF_MS } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
-import { isBounce } from './outcomes.js';
+import { isEndpointRefusal } from './outcomes.js';
 import type { RequestState } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { Failure } from '../../core/verdict.js';
@@ -15,28 +15,30 @@
       readonly kind: 'again';
       readonly changes: Pick<
         RequestState,
-        'excluded' | 'bounces' | 'waiting' | 'lastFailureText' | 'verdict'
+        'excluded' | 'refusals' | 'waiting' | 'lastFailureReason' | 'verdict'
       >;
       readonly effects: readonly EntryEffect[];
     }
   | { readonly kind: 'give-up'; readonly failure: Failure };
 
-const buildAgain = (
+const buildRetry = (
   state: RequestState,
   failure: Failure,
-  bounces: number,
+  refusals: number,
   delayMs: Millis,
 ): NextAttempt => {
   const { requestId } = state.request;
   const excluded =
-    state.place === null ? state.excluded : new Set([...state.excluded, state.place.endpoint]);
+    state.placement === null
+      ? state.excluded
+      : new Set([...state.excluded, state.placement.endpoint]);
   return {
     kind: 'again',
     changes: {
       excluded,
-      bounces,
+      refusals,
       waiting: 'for-retry',
-      lastFailureText: failure.message,
+      lastFailureReason: failure.message,
       verdict: mergeVerdicts(state.verdict, failure.verdict),
     },
     effects: [
@@ -55,12 +57,12 @@
 
 /** Keeps other requests away from an endpoint without room until it reports its load again. */
 const recordRefusal = (state: RequestState, failure: Failure, inputs: RequestsInputs): void => {
-  const { place, policy } = state;
-  if (place === null || failure.code !== 'overloaded') return;
-  const report = inputs.findReport(place.endpoint);
-  if (report === undefined) return;
-  const count = computeClassLimit(report.load.limit, policy);
-  inputs.own.recordRefusal(place.endpoint, count, inputs.now());
+  const { placement, policy } = state;
+  if (placement === null || failure.code !== 'overloaded') return;
+  const heartbeat = inputs.findReport(placement.endpoint);
+  if (heartbeat === undefined) return;
+  const count = computeClassLimit(heartbeat.load.limit, policy);
+  inputs.own.recordRefusal(placement.endpoint, count, inputs.now());
 };
 
 /**
@@ -77,10 +79,10 @@
   inputs: RequestsInputs,
 ): NextAttempt => {
   const now = inputs.now();
-  if (isBounce(failure) && now < state.deadlineAt) {
+  if (isEndpointRefusal(failure) && now < state.deadlineAt) {
     recordRefusal(state, failure, inputs);
-    const bounces = state.bounces + 1;
-    return buildAgain(state, failure, bounces, bounces > 1 ? BOUNCE_PAUSE_MS : 0);
+    const refusals = state.refusals + 1;
+    return buildRetry(state, failure, refusals, refusals > 1 ? REFUSAL_BACKOFF_MS : 0);
   }
   const { customer } = state.request;
   const { className, repeat } = state.policy;
@@ -99,7 +101,7 @@
   );
   inputs.budgets.update(customer, className, outcome.budget);
   return outcome.decision.kind === 'retry'
-    ? buildAgain(state, failure, state.bounces, outcome.decision.delayMs)
+    ? buildRetry(state, failure, state.refusals, outcome.decision.delayMs)
     : { kind: 'give-up', failure };
 };
 
@@ -109,7 +111,7 @@
  * @param state - request that ended well
  * @param inputs - clock and retry budgets
  */
-export const addSuccess = (state: RequestState, inputs: RequestsInputs): void => {
+export const recordRequestSuccess = (state: RequestState, inputs: RequestsInputs): void => {
   const now = inputs.now();
   const { customer } = state.request;
   const { className } = state.policy;
--- a/packages/entry/requests/suspectEffects.ts
+++ b/packages/entry/requests/suspectEffects.ts
@@ -57,14 +57,14 @@
     case 'suspect-cleared':
       return [];
     case 'place-held':
-      return updateRequest(context, effect.requestId, (known) =>
-        known.waiting === 'held'
-          ? placeWaiting({ ...known, waiting: 'no' }, inputs)
-          : toStep(known),
+      return updateRequest(context, effect.requestId, (state) =>
+        state.waiting === 'held'
+          ? placeWaiting({ ...state, waiting: 'no' }, inputs)
+          : toStep(state),
       );
     case 'refuse-held':
-      return updateRequest(context, effect.requestId, (known) =>
-        failRequest(known, effect.failure, inputs),
+      return updateRequest(context, effect.requestId, (state) =>
+        failRequest(state, effect.failure, inputs),
       );
     default:
       return assertNever(effect);
--- a/packages/entry/requests/suspicions.ts
+++ b/packages/entry/requests/suspicions.ts
@@ -38,9 +38,9 @@
       effects.push(...step.effects);
     },
     takeEffects: () => {
-      const taken = effects;
+      const pending = effects;
       effects = [];
-      return taken;
+      return pending;
     },
   };
 };
--- a/packages/entry/requests/transportErrors.ts
+++ b/packages/entry/requests/transportErrors.ts
@@ -6,7 +6,7 @@
  * @param error - what was thrown
  * @returns its message
  */
-export const getReason = (error: unknown): string =>
+export const getErrorMessage = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
 
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -18,7 +18,7 @@
 export type ClassPolicy = PublishedClass;
 
 /** Endpoint that holds a request now. */
-export interface Placed {
+export interface RequestPlacement {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
   /** Start identity of the engine or service itself. */
@@ -38,11 +38,11 @@
   /** Attempts that reached an endpoint daemon. */
   readonly attempts: number;
   /** Refusals of endpoint daemons that had less room than their last report said. */
-  readonly bounces: number;
-  readonly place: Placed | null;
+  readonly refusals: number;
+  readonly placement: RequestPlacement | null;
   readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
   /** Why the last attempt failed, for the caller when the deadline passes. */
-  readonly lastFailureText: string;
+  readonly lastFailureReason: string;
   /** What the ended attempts prove together; a keyed call's intent knows more. */
   readonly verdict: Verdict;
 }
--- a/packages/entry/requests/waitingQueue.ts
+++ b/packages/entry/requests/waitingQueue.ts
@@ -1,4 +1,4 @@
-import { TRIES_PER_EVENT } from './constants.js';
+import { MAX_TRIES_PER_EVENT } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
 import { getPromptTokens } from './placing.js';
 import type { RequestState } from './types.js';
@@ -39,19 +39,19 @@
   };
 
   const drain: WaitingQueue['drain'] = (place) => {
-    const full = new Set<string>();
-    for (let tries = 0; tries < TRIES_PER_EVENT; tries += 1) {
-      const head = listHeads(state).find((request) => !full.has(toLane(request)));
+    const blockedLanes = new Set<string>();
+    for (let tries = 0; tries < MAX_TRIES_PER_EVENT; tries += 1) {
+      const head = listHeads(state).find((request) => !blockedLanes.has(getLaneKey(request)));
       if (head === undefined) return;
       if (place(head.requestId) === 'placed') apply({ kind: 'take', requestId: head.requestId });
-      else full.add(toLane(head));
+      else blockedLanes.add(getLaneKey(head));
     }
   };
 
   return { apply, drain };
 };
 
-const toLane = (request: WaitingRequest): string => `${request.className}\n${request.resource}`;
+const getLaneKey = (request: WaitingRequest): string => `${request.className}\n${request.resource}`;
 
 const getResource = ({ request }: RequestState): string => {
   if (request.kind === 'generation') return `model ${request.model}`;
