Say in the test of keyed streams which end was wrong

The errors that the property throws were terse ("cancelled", "the caller waits on"). They now name what happened, and the comments say which failures the test and its last check guard against.

--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -45,7 +45,7 @@
 
 const handleNothing = (): void => undefined;
 
-/** The parts of the daemon that a stream reports to; none of them decides anything here. */
+/** Stubs of the parts of the daemon that a stream calls; they record and decide nothing. */
 const buildInputs = (clock: { now: number }): RequestsInputs =>
   ({
     now: () => clock.now,
@@ -146,7 +146,7 @@
   'hand-over',
 ]);
 
-// Guards against a stream that starts its generation a second time, stops it although its key may
+// Guards against a stream that starts its generation a second time, cancels it although its key may
 // be sent again, or ends its caller's request twice or before the dispatch has ended.
 test('the stream of a dispatched nonce starts it once and never cancels it', (t) => {
   const seen = { answered: 0, refused: 0, unknown: 0 };
@@ -171,15 +171,20 @@
       (effect) => effect.kind === 'open-generation' && effect.open.mode === 'start',
     );
     const callerEnds = effects.filter(({ kind }) => ENDS.has(kind)).length;
-    if (starts.length !== 1) throw new Error(`${starts.length.toString()} starts`);
-    if (effects.some(({ kind }) => kind === 'cancel-generation')) throw new Error('cancelled');
+    if (starts.length !== 1)
+      throw new Error(`the generation was started ${starts.length.toString()} times`);
+    if (effects.some(({ kind }) => kind === 'cancel-generation'))
+      throw new Error('the generation was cancelled');
     if (ends > 1) throw new Error(`the dispatch ended ${ends.toString()} times`);
-    if (callerEnds > ends) throw new Error('the caller was served while the dispatch went on');
-    if (callerEnds === 1 && state.caller !== 'served') throw new Error('the caller waits on');
-    if (ends === 1 && state.stream !== null) throw new Error('the stream goes on after its end');
+    if (callerEnds > ends)
+      throw new Error('the caller was served while the dispatch was still running');
+    if (callerEnds === 1 && state.caller !== 'served')
+      throw new Error('the caller still waits after its request ended');
+    if (ends === 1 && state.stream !== null)
+      throw new Error('the stream remains after the dispatch ended');
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   t.log(JSON.stringify(seen));
-  // Runs without any end would pass as well.
+  // Without this check, the test would pass if no run ever reached an end.
   t.true(Object.values(seen).every((count) => count > RUNS / 100));
 });
