Reword the types, constants and endpoint client of entry requests

The comments spoke of room, of what the child knows and of a connection left to its session manager. They now say capacity, dependencies and that a failed connection is forgotten, with the listener fault that stands behind it. The reasons for a link that closed early and for an empty response name the sender and the event.

--- a/packages/entry/requests/classes.ts
+++ b/packages/entry/requests/classes.ts
@@ -2,7 +2,7 @@
 import type { ClassName } from '../../core/ids.js';
 import type { CallerRequest } from '../types.js';
 
-/** Class of requests whose caller, route and customer name none. */
+/** Class of a request for which the caller, the route and the customer specify none. */
 export const DEFAULT_CLASS: ClassPolicy = {
   className: 'standard',
   importance: 'standard',
@@ -15,7 +15,7 @@
   delivery: 'stream',
 };
 
-/** Default class of calls to plain services: answers are short. */
+/** Default class of calls to plain services, whose answers are short. */
 export const DEFAULT_SERVICE_CLASS: ClassPolicy = {
   ...DEFAULT_CLASS,
   className: 'standard',
@@ -27,12 +27,12 @@
   request.kind === 'service' ? DEFAULT_SERVICE_CLASS : DEFAULT_CLASS;
 
 /**
- * Finds the class of a request: the caller's, else the route's, else the customer's default.
+ * Finds the class of a request: the caller's, else the route's, else the customer's default class.
  *
  * @param request - request of a caller
  * @param customerDefault - default class of the customer, if any
  * @param published - classes that operators have published
- * @returns the class's policy, or the name that nobody published
+ * @returns the policy of the class, or the name of a class that is not published
  */
 export const findClass = (
   request: CallerRequest,
@@ -44,7 +44,7 @@
   const name = request.className ?? routeClass ?? customerDefault ?? fallback.className;
   const policy = published.get(name);
   if (policy !== undefined) return { kind: 'found', policy };
-  // A default that nobody has published yet must not make every request fail.
+  // A default class that is not published yet must not make every request fail.
   if (request.className === null)
     return { kind: 'found', policy: { ...fallback, className: name } };
   if (name === fallback.className) return { kind: 'found', policy: fallback };
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -55,7 +55,7 @@
 /**
  * Creates the adapter that calls endpoint daemons. Each completion is posted as an event.
  *
- * @param entry - name of this process, for the endpoint daemons' events
+ * @param entry - name of this process, sent to endpoint daemons with each call
  * @param post - receives the completions
  * @returns the adapter
  */
@@ -82,13 +82,13 @@
   };
 
   /**
-   * Leaves a connection whose call failed to its session manager; the next call opens another one.
-   * The streams of a dying HTTP/2 session fail before the session emits its own error. A call that
-   * reopened the same manager in between would take the error listener off the dying session, and
-   * the unhandled error would end this process.
+   * Forgets a connection whose call failed, so that the next call creates a new session manager.
+   * The streams of a failing HTTP/2 session fail before the session emits its own error. A call that
+   * reopened the same manager in between would remove the error listener from the failing session,
+   * and the unhandled error would end this process.
    */
   const releaseConnection = (url: string, client: EndpointRpc, error: unknown): void => {
-    // A call that only took too long tells nothing about its connection.
+    // A timeout of a call says nothing about the state of its connection.
     if (ConnectError.from(error).code === Code.DeadlineExceeded) return;
     if (connections.get(url)?.client === client) connections.delete(url);
   };
@@ -159,7 +159,12 @@
         clearTimeout(openTimer);
         if (postEvent(key, event) === 'ended') return;
       }
-      post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
+      post({
+        kind: 'link-lost',
+        ...key,
+        sent: 'sent',
+        reason: 'the stream closed before the generation finished or failed',
+      });
     } catch (error) {
       if (!links.has(linkId)) return;
       releaseConnection(open.url, client, error);
@@ -185,7 +190,11 @@
           failure: decodeCallFailure(result.value),
         };
       case undefined: {
-        const failure = createFailure('may-have-run', 'internal', 'empty answer of the daemon');
+        const failure = createFailure(
+          'may-have-run',
+          'internal',
+          'the endpoint daemon sent an empty response',
+        );
         return { kind: 'call-failed', requestId, attempt, failure };
       }
       default:
@@ -199,7 +208,8 @@
     const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
     return createFailure(
       'may-have-run',
-      // The code differs from a broken endpoint's, which would put what it ran under suspicion.
+      // A timeout has a code of its own, since that of a failed endpoint would make the requests that
+      // it ran suspects.
       isTimeout ? 'deadline-exceeded' : 'endpoint-failed',
       `no answer from the endpoint daemon: ${reason}`,
     );
@@ -279,7 +289,7 @@
       generationId,
       incarnation,
     });
-    // A lost cancel is covered by the orphan timeout of the endpoint daemon.
+    // If the cancel is lost, the orphan timeout of the endpoint daemon ends the generation.
     const client = connect(url);
     await client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS }).catch((error: unknown) => {
       releaseConnection(url, client, error);
--- a/packages/entry/requests/endpointMessages.ts
+++ b/packages/entry/requests/endpointMessages.ts
@@ -3,7 +3,7 @@
 import type { Failure } from '../../core/verdict.js';
 import type { HeaderField, ServiceAnswer } from '../types.js';
 
-/** Identity of one link of a request's stream to an endpoint daemon. */
+/** Identifies one link, a call that streams a generation from an endpoint daemon. */
 export interface LinkKey {
   readonly requestId: RequestId;
   readonly generationId: GenerationId;
@@ -52,7 +52,7 @@
   readonly incarnation: Incarnation;
 }
 
-/** Completions of the calls to endpoint daemons. */
+/** Results of the calls to endpoint daemons, posted as events. */
 export type EndpointCompletion =
   | ({ readonly kind: 'link-opened' } & LinkKey)
   | ({
@@ -68,7 +68,7 @@
       readonly digest: string;
     } & LinkKey)
   | ({ readonly kind: 'generation-failed'; readonly failure: Failure } & LinkKey)
-  /** The link broke; `unsent` proves that the request never left this process. */
+  /** The link was lost; `unsent` proves that the request never left this process. */
   | ({
       readonly kind: 'link-lost';
       readonly sent: 'sent' | 'unsent';
@@ -102,7 +102,7 @@
 
 export interface EndpointClient {
   readonly openGeneration: (open: OpenGeneration) => void;
-  /** Stops reading a link; the generation goes on at the endpoint daemon. */
+  /** Stops reading a link; the generation continues at the endpoint daemon. */
   readonly closeLink: (generationId: GenerationId, link: number) => void;
   readonly cancelGeneration: (
     url: string,
@@ -110,6 +110,6 @@
     incarnation: Incarnation,
   ) => void;
   readonly callEndpoint: (call: OpenCall) => void;
-  readonly fenceNonce: (question: FenceQuestion) => void;
+  readonly fenceNonce: (command: FenceQuestion) => void;
   readonly close: () => void;
 }
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -10,7 +10,7 @@
 import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
 import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
 
-/** What the `requests` child knows of the rest of the daemon. */
+/** Dependencies of the `requests` child on the rest of the daemon. */
 export interface RequestsInputs {
   readonly now: () => Millis;
   readonly random: RandomSource;
@@ -27,15 +27,15 @@
     readonly maxTimedKeys: number;
   };
   readonly getCustomerDefault: (customer: CustomerId) => ClassName | undefined;
-  /** Quarantined fingerprints with their expiry. */
+  /** Quarantined fingerprints with the time at which each expires. */
   readonly getQuarantined: () => ReadonlyMap<string, Millis>;
   readonly getClasses: () => ReadonlyMap<ClassName, ClassPolicy>;
-  /** Endpoints with their phase as it is now. */
+  /** Endpoints with their current phase. */
   readonly listEndpoints: () => readonly EndpointView[];
-  /** Newest heartbeat of an endpoint. */
+  /** Newest heartbeat of an endpoint; undefined for an endpoint that sent none. */
   readonly findReport: (endpoint: string) => ReceivedHeartbeat | undefined;
   readonly getCustomerWeight: (customer: CustomerId) => number;
-  /** Version that a move chooses for a request; null when any will do. */
+  /** Version that a move selects for a request; null when any version may serve it. */
   readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionChoice | null;
   readonly budgets: BudgetTable;
   readonly suspicions: Suspicions;
--- a/packages/entry/requests/requestBase.ts
+++ b/packages/entry/requests/requestBase.ts
@@ -2,11 +2,11 @@
 import type { ClassPolicy, RequestBase } from './types.js';
 
 /**
- * Creates the part that all requests share, before the first placement.
+ * Creates the state that requests of all kinds have in common, before the first placement.
  *
  * @param policy - policy of the request's class
  * @param inputs - clock
- * @returns a request that no endpoint has seen
+ * @returns the state of a request that was sent to no endpoint
  */
 export const createRequestBase = (policy: ClassPolicy, inputs: RequestsInputs): RequestBase => ({
   policy,
--- a/packages/entry/requests/transportErrors.ts
+++ b/packages/entry/requests/transportErrors.ts
@@ -1,10 +1,10 @@
 import { ConnectError } from '@connectrpc/connect';
 
 /**
- * Describes an error of a call to an endpoint daemon.
+ * Returns the message of an error that a call to an endpoint daemon threw.
  *
- * @param error - what was thrown
- * @returns its message
+ * @param error - thrown value
+ * @returns its message, or its string form if it is no `Error`
  */
 export const getErrorMessage = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
@@ -12,11 +12,11 @@
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /**
- * Tells whether a failed call can have reached the endpoint daemon. A refused connection proves that
- * nothing was sent; every other error leaves it open.
+ * Reports whether a failed call can have reached the endpoint daemon. A refused connection or an
+ * unreachable host or network proves that nothing was sent; any other error does not.
  *
- * @param error - what was thrown
- * @returns `unsent` only when nothing can have arrived
+ * @param error - thrown value
+ * @returns `unsent` only when the endpoint daemon cannot have received anything
  */
 export const checkSent = (error: unknown): 'sent' | 'unsent' => {
   const { cause } = ConnectError.from(error);
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -14,10 +14,10 @@
 import type { WaitingQueue } from './waitingQueue.js';
 import type { GenerationRequest, ResumeRequest, ServiceRequest } from '../types.js';
 
-/** What operators published for a class, or the defaults. */
+/** Policy of a class: the one that operators published, or the default. */
 export type ClassPolicy = PublishedClass;
 
-/** Endpoint that holds a request now. */
+/** Endpoint on which a request is placed. */
 export interface RequestPlacement {
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
@@ -29,7 +29,7 @@
   readonly placedAt: Millis;
 }
 
-/** What every request in progress carries, whatever its kind. */
+/** State that requests of all kinds have in common. */
 export interface RequestBase {
   readonly policy: ClassPolicy;
   readonly deadlineAt: Millis;
@@ -37,13 +37,13 @@
   readonly excluded: ReadonlySet<EndpointId>;
   /** Attempts that reached an endpoint daemon. */
   readonly attempts: number;
-  /** Refusals of endpoint daemons that had less room than their last report said. */
+  /** Refusals by endpoint daemons, for instance because one had less capacity than it reported. */
   readonly refusals: number;
   readonly placement: RequestPlacement | null;
   readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
-  /** Why the last attempt failed, for the caller when the deadline passes. */
+  /** Why the last attempt or placement failed; reported to the caller when the deadline passes. */
   readonly lastFailureReason: string;
-  /** What the ended attempts prove together; a keyed call's intent knows more. */
+  /** Combined verdict of the ended attempts; for a keyed request the intent is more precise. */
   readonly verdict: Verdict;
 }
 
@@ -60,7 +60,7 @@
   readonly request: ServiceRequest;
 }
 
-/** A request that runs at most once. */
+/** A request that runs at most once for its idempotency key. */
 export interface KeyedState extends RequestBase {
   readonly kind: 'keyed';
   readonly request: ServiceRequest | GenerationRequest;
@@ -68,15 +68,15 @@
   readonly intent: IntentState;
   /** Stream of a dispatched generation; null before the dispatch, after it and for calls. */
   readonly stream: GenerationState | null;
-  /** `served` once the caller has its answer or failure and only records are left. */
+  /** `served` once the caller has its answer or failure and only records remain to be appended. */
   readonly caller: 'waiting' | 'served';
 }
 
 export type RequestState = GenerationState | CallState | KeyedState;
 
 /**
- * Requests of this daemon. The map is owned by the `requests` child and updated in place, since
- * thousands of streams change it many times a second.
+ * Requests in progress at this daemon. The map is owned by the `requests` child and mutated in
+ * place, since thousands of streams change it many times a second.
  */
 export interface RequestsState {
   readonly table: Map<RequestId, RequestState>;
