Reword attempts, retries and outcomes of entry requests

The next attempt is of kind `retry` rather than `again`; the value never leaves the process. The comments now say when a refusal costs no retry budget and why a crash is reported before the attempt is released. The problem for a dead resume ticket also names the restart that it covers.

--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -46,9 +46,9 @@
 /**
  * Builds the effects that send a call to an endpoint daemon.
  *
- * @param state - request with its place
+ * @param state - placed request
  * @param request - call of the caller
- * @param place - chosen endpoint
+ * @param placement - chosen endpoint
  * @param nonce - nonce of a call that runs at most once, else null
  * @param inputs - clock
  * @returns log and call effects
@@ -97,11 +97,11 @@
 };
 
 /**
- * Tries to place an idempotent call and sends it there.
+ * Tries to place an idempotent call and sends it to the chosen endpoint.
  *
- * @param state - call without a place
+ * @param state - call without a placement
  * @param inputs - endpoints and estimates
- * @returns the step; the call waits in the queue when no endpoint has room
+ * @returns the step; the call waits in the queue when no endpoint has capacity
  */
 export const placeCall = (state: CallState, inputs: RequestsInputs): RequestStep => {
   const result = selectPlacement(state, inputs);
@@ -135,7 +135,7 @@
  *
  * @param state - request
  * @param answer - answer of the service
- * @param inputs - own placements
+ * @param inputs - clock, retry budgets and placements of this daemon
  * @returns the step that ends the request
  */
 export const sendAnswer = (
@@ -166,7 +166,7 @@
 };
 
 /**
- * Applies the end of an idempotent call's attempt.
+ * Applies the end of an attempt of an idempotent call.
  *
  * @param state - call
  * @param completion - how the attempt ended
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -59,9 +59,9 @@
 /**
  * Starts a generation at a chosen endpoint.
  *
- * @param state - generation without a place
- * @param place - chosen endpoint
- * @param generationId - fresh id
+ * @param state - generation without a placement
+ * @param placement - chosen endpoint
+ * @param generationId - new id
  * @param nonce - nonce of a generation that runs at most once, else null
  * @param inputs - clock
  * @returns the step that opens the link
@@ -100,11 +100,11 @@
 };
 
 /**
- * Tries to place a generation and starts it there.
+ * Tries to place a generation and starts it at the chosen endpoint.
  *
- * @param state - generation without a place
+ * @param state - generation without a placement
  * @param inputs - endpoints and estimates
- * @returns the step; the request waits in the queue when no endpoint has room
+ * @returns the step; the request waits in the queue when no endpoint has capacity
  */
 export const placeGeneration = (state: GenerationState, inputs: RequestsInputs): GenerationStep => {
   const result = selectPlacement(state, inputs);
@@ -125,12 +125,12 @@
 };
 
 /**
- * Takes up a stream from a resume ticket.
+ * Resumes a stream from a resume ticket.
  *
  * @param request - request of the caller
  * @param policy - policy of its class
  * @param inputs - endpoints by name
- * @returns the step that resumes, or that tells the caller that the stream is lost
+ * @returns the step that resumes the stream, or that reports to the caller that it is lost
  */
 export const startResume = (
   request: ResumeRequest,
@@ -162,7 +162,7 @@
     lastChunkAt: null,
   };
   if (url === undefined || view?.incarnation !== incarnation) {
-    const text = `endpoint ${endpoint} of the ticket is gone`;
+    const text = `endpoint ${endpoint} of the resume ticket is gone or has restarted`;
     return failRequest(state, createFailure('may-have-run', 'stream-lost', text), inputs);
   }
   return applyEffects(state, resumed.effects, inputs);
@@ -206,11 +206,11 @@
 };
 
 /**
- * Stops reading the generation; it goes on at the endpoint daemon.
+ * Builds the effect that stops reading a generation, which continues at the endpoint daemon.
  *
  * @param state - generation
- * @param source - where it runs
- * @returns the effect
+ * @param source - endpoint that runs it
+ * @returns the effect that closes the current link
  */
 export const buildCloseLink = (state: GenerationState, source: GenerationSource): EntryEffect => ({
   kind: 'close-link',
@@ -227,7 +227,7 @@
   const ended = logAttemptEnd(state, failure);
   const next = decideNextAttempt(state, failure, inputs);
   switch (next.kind) {
-    case 'again': {
+    case 'retry': {
       const retrying: GenerationState = {
         ...state,
         ...next.changes,
@@ -251,7 +251,7 @@
   }
 };
 
-/** Carries out the delivery's effects in order; the request is over once one of them ends it. */
+/** Applies the delivery's effects in order; the request ends with the first one that ends it. */
 const applyEffects = (
   state: GenerationState,
   effects: readonly DeliveryEffect[],
@@ -269,7 +269,7 @@
 };
 
 /**
- * Carries out one effect of the delivery.
+ * Applies one effect of the delivery.
  *
  * @param state - generation
  * @param effect - effect of its stream
@@ -357,7 +357,7 @@
  * Applies a completion of a link.
  *
  * @param state - generation
- * @param completion - what arrived from the endpoint daemon
+ * @param completion - completion received from the endpoint daemon
  * @param inputs - endpoints and estimates
  * @returns the step of the request
  */
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -29,16 +29,16 @@
   verdict: 'not-run',
 } as unknown as CallState;
 
-// Guards against a call that ran and whose answer was lost, and that the queue then refuses as not
-// run (P6).
-test('a refusal after an attempt that may have run is told as may-have-run', (t) => {
+// Guards against reporting `not-run` for a call that the queue refuses after an earlier attempt ran
+// and its answer was lost (P6).
+test('a refusal after an attempt that may have run is reported as may-have-run', (t) => {
   const lost = createFailure('may-have-run', 'endpoint-failed', 'the answer was lost');
   const next = decideNextAttempt(CALL, lost, INPUTS);
-  t.is(next.kind, 'again');
-  const changes = next.kind === 'again' ? next.changes : {};
+  t.is(next.kind, 'retry');
+  const changes = next.kind === 'retry' ? next.changes : {};
   const shed = createFailure('not-run', 'shed', 'the queue is full');
-  const told = failRequest({ ...CALL, ...changes }, shed, INPUTS).effects[0];
-  t.like(told, { kind: 'fail-request', failure: { code: 'shed', verdict: 'may-have-run' } });
+  const reported = failRequest({ ...CALL, ...changes }, shed, INPUTS).effects[0];
+  t.like(reported, { kind: 'fail-request', failure: { code: 'shed', verdict: 'may-have-run' } });
   const first = failRequest(CALL, shed, INPUTS).effects[0];
   t.like(first, { kind: 'fail-request', failure: { code: 'shed', verdict: 'not-run' } });
 });
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -8,16 +8,16 @@
 import { resolveRefusal } from '../../decisions/retries/attempts.js';
 import type { EntryEffect } from '../events.js';
 
-/** Next state of one request; null when it is over. */
+/** Next state of one request with effects; the state is null when the request has ended. */
 export type RequestStep = Step<RequestState | null, EntryEffect>;
 
 /**
  * Ends a request with a failure.
  *
  * @param state - request that fails
- * @param reason - why it ends; earlier attempts can make its verdict worse
- * @param inputs - own placements
- * @param effects - effects that come before
+ * @param reason - why it ends; an earlier attempt that may have run worsens the reported verdict
+ * @param inputs - suspicions and placements of this daemon
+ * @param effects - effects to apply first
  * @returns the step that ends the request
  */
 export const failRequest = (
@@ -27,7 +27,7 @@
   effects: readonly EntryEffect[] = [],
 ): RequestStep => {
   const { requestId } = state.request;
-  // The intent of a keyed call has settled its verdict with the endpoint daemon.
+  // The intent of a keyed request has already resolved the verdict with the endpoint daemon.
   const failure = state.kind === 'keyed' ? reason : resolveRefusal(state.verdict, reason);
   releaseAttempt(state, toAttemptOutcome(reason), inputs);
   inputs.suspicions.apply({ kind: 'abandoned', requestId });
@@ -59,11 +59,11 @@
 const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set();
 
 /**
- * Lets a request wait in the queue. It may then go to any endpoint again: those that refused it
- * earlier may have room by the time it is its turn, and there may be no others.
+ * Marks a request as waiting in the queue and clears its excluded endpoints: those that refused it
+ * earlier may have capacity by the time it is its turn, and there may be no others.
  *
- * @param state - request without a place
- * @param reason - why no endpoint takes it now
+ * @param state - request without a placement
+ * @param reason - why no endpoint accepts it now
  * @returns the step of the request
  */
 export const enqueueRequest = (state: RequestState, reason: string): RequestStep =>
@@ -75,9 +75,9 @@
   });
 
 /**
- * Puts a suspected request aside until it may run alone.
+ * Holds a request that is suspected of crashing endpoints until it may run alone.
  *
- * @param state - request without a place
+ * @param state - request without a placement
  * @param inputs - suspicions
  * @returns the step of the request
  */
@@ -88,11 +88,11 @@
 };
 
 /**
- * Ends the accounting of an attempt.
+ * Releases the placement of an ended attempt and records its outcome.
  *
- * @param state - request with the attempt's place
+ * @param state - request with the placement of the attempt
  * @param outcome - how it ended
- * @param inputs - own placements and suspicions
+ * @param inputs - placements of this daemon and suspicions
  */
 export const releaseAttempt = (
   state: RequestState,
@@ -105,7 +105,7 @@
 };
 
 /**
- * Reads from a failure how the attempt ended for the request itself.
+ * Derives the outcome of an attempt from its failure.
  *
  * @param failure - how the attempt ended
  * @returns `refused` when no endpoint worked on the request
@@ -114,8 +114,8 @@
   failure.verdict === 'not-run' ? 'refused' : 'failed';
 
 /**
- * Reports that the endpoint's engine or service broke off, which makes what it ran suspect. It must
- * come before the end of the attempt.
+ * Reports that the endpoint's engine or service crashed, which makes the requests that it ran
+ * suspects. Call it before `releaseAttempt`, after which this request is no longer in flight.
  *
  * @param state - request that the endpoint ran
  * @param failure - failure that its daemon reported
@@ -139,7 +139,7 @@
   });
 };
 
-/** Refusals that tell only of room or of a change that the next heartbeat will show. */
+/** Refusals for lack of capacity, or for a change that the next heartbeat will report. */
 const ENDPOINT_REFUSAL_CODES: ReadonlySet<FailureCode> = new Set([
   'overloaded',
   'draining',
@@ -149,17 +149,17 @@
 ]);
 
 /**
- * Tells whether a failure is a refusal by an endpoint daemon that leaves the request to others.
- * It costs no retry budget, since no endpoint worked on the request.
+ * Reports whether a failure is a refusal after which another endpoint may serve the request. Such a
+ * refusal costs no retry budget, since no endpoint worked on the request.
  *
  * @param failure - how the attempt ended
- * @returns true for a bounce
+ * @returns true for a refusal by an endpoint daemon
  */
 export const isEndpointRefusal = (failure: Failure): boolean =>
   failure.verdict === 'not-run' && ENDPOINT_REFUSAL_CODES.has(failure.code);
 
 /**
- * Describes the end of an attempt for the time line.
+ * Builds the log event for the end of an attempt, which the timeline of the request shows.
  *
  * @param state - request
  * @param failure - how the attempt ended, or null for success
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -9,10 +9,10 @@
 import { mergeVerdicts } from '../../decisions/streams/verdicts.js';
 import type { EntryEffect } from '../events.js';
 
-/** Whether a request whose attempt failed is tried again. */
+/** Whether a request is tried again after a failed attempt. */
 export type NextAttempt =
   | {
-      readonly kind: 'again';
+      readonly kind: 'retry';
       readonly changes: Pick<
         RequestState,
         'excluded' | 'refusals' | 'waiting' | 'lastFailureReason' | 'verdict'
@@ -33,7 +33,7 @@
       ? state.excluded
       : new Set([...state.excluded, state.placement.endpoint]);
   return {
-    kind: 'again',
+    kind: 'retry',
     changes: {
       excluded,
       refusals,
@@ -55,7 +55,7 @@
   };
 };
 
-/** Keeps other requests away from an endpoint without room until it reports its load again. */
+/** Keeps other requests away from an endpoint without capacity until its next load report. */
 const recordRefusal = (state: RequestState, failure: Failure, inputs: RequestsInputs): void => {
   const { placement, policy } = state;
   if (placement === null || failure.code !== 'overloaded') return;
@@ -66,12 +66,13 @@
 };
 
 /**
- * Decides whether a request is tried again after a failed attempt with nothing shown.
+ * Decides whether a request is tried again after a failed attempt that delivered nothing to the
+ * caller.
  *
  * @param state - request
  * @param failure - how the attempt ended
  * @param inputs - clock and retry budgets
- * @returns another attempt, or the failure for the caller
+ * @returns a retry, or the failure for the caller
  */
 export const decideNextAttempt = (
   state: RequestState,
@@ -106,9 +107,9 @@
 };
 
 /**
- * Adds a success to the retry budget of the request's customer and class.
+ * Records a success in the retry budget of the request's customer and class.
  *
- * @param state - request that ended well
+ * @param state - request that succeeded
  * @param inputs - clock and retry budgets
  */
 export const recordRequestSuccess = (state: RequestState, inputs: RequestsInputs): void => {
