Reword placing, queueing, keyed requests and suspicions

"Offers room", "takes up", "goes on" and "holder" are now placing a waiting request, resuming, continuing and a mutable state. The stored answer is replayed, and a keyed failure says that it is no longer stored. Invariant errors say what cannot be done.

--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -5,7 +5,7 @@
 import type { ServiceAnswer } from '../types.js';
 
 /**
- * Adds the digest to an answer.
+ * Adds the digest of the body to an answer.
  *
  * @param answer - answer of the endpoint
  * @returns the answer for the intent
@@ -16,10 +16,10 @@
 });
 
 /**
- * Reads the reply of an endpoint daemon to a fence.
+ * Converts the reply of an endpoint daemon to a fence request into the result for the intent.
  *
  * @param answer - reply as the adapter received it
- * @returns the reply for the intent
+ * @returns the result for the intent
  */
 export const toFenceResult = (answer: FenceAnswer): FenceResult => {
   switch (answer.kind) {
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -50,7 +50,7 @@
   policy: ClassPolicy,
   inputs: RequestsInputs,
 ): KeyedState => {
-  // A call without a key cannot be recognised when it is sent again, but its own attempts still
+  // A call without a key is not recognised when the caller repeats it, but its own attempts still
   // run at most once.
   const key = request.key ?? inputs.createId();
   const base = createRequestBase(policy, inputs);
@@ -74,13 +74,13 @@
 };
 
 const toIntentView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
-  const { log, standing, nextOffset, kept } = inputs.getIntentLog();
+  const { log, standing, nextOffset, kept: counts } = inputs.getIntentLog();
   return {
     now: inputs.now(),
     log,
     standing,
     nextOffset,
-    keyCounts: kept,
+    keyCounts: counts,
     chain: inputs.findChain(state.request.customer, state.key),
     keys: inputs.limits,
     limits: DEFAULT_INTENT_LIMITS,
@@ -90,9 +90,9 @@
 /**
  * Tries to find an endpoint for the next intent.
  *
- * @param state - keyed call in the phase `choosing`
+ * @param state - keyed request whose intent is in state `choosing`
  * @param inputs - endpoints and estimates
- * @returns the step; the call waits in the queue when no endpoint has room
+ * @returns the step; the request waits in the queue when no endpoint has capacity
  */
 export const placeKeyed = (state: KeyedState, inputs: RequestsInputs): RequestStep => {
   const result = selectPlacement(state, inputs);
@@ -181,7 +181,7 @@
   inputs: RequestsInputs,
 ): RequestStep => {
   const status = effect.status?.toString() ?? 'unknown';
-  const text = `the request ran before with status ${status}; its answer is no longer held (digest ${effect.bodyDigest ?? 'unknown'})`;
+  const text = `the request already ran with status ${status}; its answer is no longer stored (digest ${effect.bodyDigest ?? 'unknown'})`;
   return failRequest(state, createFailure('ran', 'key-unresolved', text), inputs);
 };
 
@@ -249,7 +249,7 @@
       return dispatch(state, effect, inputs);
     case 'fence':
       return fence(state, effect, inputs);
-    // The outcome record is still to be appended, so the request lives on without its caller.
+    // The outcome record is not appended yet, so the request stays in the table without its caller.
     case 'answer':
       return { state: served, effects: isServed ? [] : replyToCaller(state, effect, inputs) };
     case 'answer-digest':
@@ -273,9 +273,9 @@
 };
 
 /**
- * Applies one event to the intent of a keyed call.
+ * Applies one event to the intent of a keyed request.
  *
- * @param state - keyed call
+ * @param state - keyed request
  * @param event - event of its intent
  * @param inputs - endpoints, estimates and the key's chain
  * @returns the step of the request
@@ -312,7 +312,7 @@
 /**
  * Applies the end of a dispatch.
  *
- * @param state - keyed call
+ * @param state - keyed request
  * @param completion - how the dispatch ended
  * @param inputs - endpoints and estimates
  * @returns the step of the request
@@ -349,7 +349,7 @@
  * Applies a completion of the link to a generation that runs at most once.
  *
  * @param state - keyed request
- * @param completion - what arrived from the endpoint daemon
+ * @param completion - completion received from the endpoint daemon
  * @param inputs - endpoints and estimates
  * @returns the step of the request
  */
@@ -360,7 +360,8 @@
 ): RequestStep => applyStreamStep(state, applyKeyedLink(state, completion, inputs), inputs);
 
 /**
- * Applies another event of the stream of a generation that runs at most once.
+ * Applies an event of the stream that does not come from its link, to a generation that runs at most
+ * once.
  *
  * @param state - keyed request
  * @param event - event of its stream
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -33,19 +33,19 @@
 
 /** Step of the stream of a generation that runs at most once. */
 export interface StreamStep extends Step<KeyedState, EntryEffect> {
-  /** How the dispatch ended; null while the stream goes on. */
+  /** How the dispatch ended; null while the stream continues. */
   readonly ended: DispatchResult | null;
 }
 
 const STATUS_OK = 200;
 
 /**
- * Starts the generation of a dispatched nonce, whose id is the nonce.
+ * Starts the generation of a dispatched nonce; the nonce is also the id of the generation.
  *
  * @param state - keyed request
  * @param request - its generation
- * @param place - endpoint of the intent
- * @param nonce - nonce that was read back as active
+ * @param placement - endpoint of the intent
+ * @param nonce - nonce that was read back from the log as active
  * @param inputs - clock
  * @returns the step that opens the link
  */
@@ -58,7 +58,7 @@
 ): Step<KeyedState, EntryEffect> => {
   const { policy, deadlineAt, attempts } = state;
   const fresh = createGeneration(request, policy, inputs);
-  // The start counts the attempt again.
+  // `startGenerationAt` counts the attempt, which the dispatch has already counted.
   const generation = { ...fresh, deadlineAt, attempts: attempts - 1 };
   const step = startGenerationAt(generation, placement, nonce, nonce, inputs);
   return toStep({ ...state, stream: step.state }, ...step.effects);
@@ -71,14 +71,14 @@
 
 const toAnsweredResult = (digest: string): DispatchResult => ({
   kind: 'answered',
-  // The answer was written chunk by chunk; only its digest is recorded.
+  // The answer was written to the caller chunk by chunk; only its digest is recorded.
   answer: { status: STATUS_OK, headers: [], body: new Uint8Array(), bodyDigest: digest },
 });
 
 const HANDED_OVER_FAILURE = createFailure(
   'may-have-run',
   'stream-lost',
-  'the caller went on elsewhere',
+  'the stream was handed over to another entry daemon',
 );
 
 interface EffectStep {
@@ -87,7 +87,7 @@
   readonly caller?: KeyedState['caller'];
 }
 
-/** Effects of the stream; nothing here starts a second attempt or stops the first one. */
+/** Applies an effect of the stream without starting a second attempt or stopping the first one. */
 const applyEffect = (
   stream: GenerationState,
   effect: DeliveryEffect,
@@ -118,7 +118,7 @@
       releaseAttempt(stream, toAttemptOutcome(failure), inputs);
       return { effects: [logAttemptEnd(stream, failure)], ended: toFailedResult(failure) };
     }
-    // The generation goes on: its caller may ask for the answer by its key.
+    // The generation continues, since its caller may request the answer by its key.
     case 'cancel-generation':
       return { effects: [buildCloseLink(stream, effect.source)] };
     default:
@@ -168,7 +168,7 @@
  * Applies a completion of the stream's link.
  *
  * @param state - keyed request
- * @param completion - what arrived from the endpoint daemon
+ * @param completion - completion received from the endpoint daemon
  * @param inputs - endpoints and estimates
  * @returns the step, with the end of the dispatch if there is one
  */
@@ -193,14 +193,15 @@
 };
 
 /**
- * Shows the stored answer of an earlier request under the key, in the form that this one asks for.
+ * Builds the effects that replay the stored answer of an earlier request with the same key, in the
+ * form that this request specifies.
  *
- * @param state - keyed request whose caller waits
+ * @param state - keyed request whose caller waits for the answer
  * @param request - its generation
- * @param answer - answer as the endpoint daemon holds it
- * @param place - nonce and endpoint of the generation
- * @param inputs - own placements
- * @returns effects that end the caller's request
+ * @param answer - answer as the endpoint daemon stored it
+ * @param placement - nonce and endpoint of the generation
+ * @param inputs - placements of this daemon and suspicions
+ * @returns effects that answer the caller
  */
 export const replayGeneration = (
   state: KeyedState,
--- a/packages/entry/requests/links.ts
+++ b/packages/entry/requests/links.ts
@@ -16,10 +16,10 @@
 >;
 
 /**
- * Translates a completion of a link into an event of the stream.
+ * Converts a completion of a link into an event of the stream.
  *
  * @param state - generation
- * @param completion - what arrived from the endpoint daemon
+ * @param completion - completion received from the endpoint daemon
  * @param inputs - clock
  * @returns the event
  */
@@ -55,12 +55,13 @@
 };
 
 /**
- * Measures the latencies of the chunks that arrived, and a stall if the gap before them was long.
+ * Measures the latency of received chunks, and logs a stall when the gap before them reached the
+ * stall threshold of the class.
  *
  * @param state - generation before the chunks
  * @param count - number of chunks
- * @param inputs - clock and own placements
- * @returns the state with its new times, and the measurements
+ * @param inputs - clock and placements of this daemon
+ * @returns the state with updated chunk times, and the effects that record the measurements
  */
 export const measureChunks = (
   state: GenerationState,
--- a/packages/entry/requests/openLink.ts
+++ b/packages/entry/requests/openLink.ts
@@ -8,8 +8,8 @@
  * Builds the effect that starts a generation at its endpoint.
  *
  * @param state - generation
- * @param place - chosen endpoint
- * @param generationId - fresh id
+ * @param placement - chosen endpoint
+ * @param generationId - new id
  * @param nonce - nonce of a generation that runs at most once, else null
  * @param inputs - clock
  * @returns the effect that opens the first link
@@ -22,7 +22,7 @@
   inputs: RequestsInputs,
 ): EntryEffect => {
   const { request, policy } = state;
-  if (request.kind === 'resume') throw new Error('a resumed stream starts no generation');
+  if (request.kind === 'resume') throw new Error('a resumed stream cannot start a generation');
   return {
     kind: 'open-generation',
     open: {
@@ -47,12 +47,12 @@
 };
 
 /**
- * Builds the effects that go on with a generation on a new link.
+ * Builds the effects that resume a generation on a new link.
  *
  * @param state - generation
- * @param effect - what the stream wants to resume
+ * @param effect - resume that the stream requested
  * @param inputs - clock
- * @returns effects that close the link before, log, and open the new one
+ * @returns effects that close the previous link, log the resume and open the new link
  */
 export const buildResumeEffects = (
   state: GenerationState,
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -13,7 +13,7 @@
 import type { PlacementRule } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** Result of one try to place a request. */
+/** Result of one attempt to place a request. */
 export type PlacementResult =
   | {
       readonly kind: 'placed';
@@ -21,20 +21,20 @@
       readonly effects: readonly EntryEffect[];
     }
   | { readonly kind: 'wait'; readonly reason: string }
-  /** The request is suspected of crashing endpoints and waits until it may run alone. */
+  /** The request is suspected of crashing endpoints and is held until it may run alone. */
   | { readonly kind: 'hold' }
   | { readonly kind: 'fail'; readonly failure: Failure };
 
 /**
- * Returns the prompt's size for memory and fairness.
+ * Returns the prompt size that memory estimates and fair queueing use.
  *
  * @param state - request
- * @returns tokens; 0 for calls to plain services
+ * @returns number of tokens; 0 for calls to plain services
  */
 export const getPromptTokens = ({ request }: RequestState): number =>
   request.kind === 'generation' ? request.promptTokens : 0;
 
-/** Lists what may serve a request, in order of preference. */
+/** Lists the targets that may serve a request, in order of preference. */
 const listTargets = (
   { request }: RequestState,
   inputs: RequestsInputs,
@@ -50,7 +50,7 @@
     case 'service':
       return [{ kind: 'service', service: request.service }];
     case 'resume':
-      throw new Error('a resumed stream is bound to its endpoint and is never placed');
+      throw new Error('a resumed stream is bound to its endpoint and cannot be placed');
     default:
       return assertNever(request);
   }
@@ -167,7 +167,7 @@
   return { kind: 'placed', placement, effects: [logPlacement(state, decision)] };
 };
 
-/** Takes the next target only when no endpoint of the one before takes work at all. */
+/** Considers the next target only when no endpoint of the previous one accepts work at all. */
 const choosePlacementByTarget = (
   state: RequestState,
   endpoints: readonly EndpointView[],
@@ -183,7 +183,7 @@
       inputs.random,
     );
   const [first, ...others] = listTargets(state, inputs);
-  if (first === undefined) throw new Error('a request without a target');
+  if (first === undefined) throw new Error('the request has no placement target');
   return others.reduce(
     (decision, target) => (decision.kind === 'refuse' ? decide(target) : decision),
     decide(first),
@@ -191,11 +191,11 @@
 };
 
 /**
- * Tries to place a request and tracks the placement.
+ * Tries to place a request, and records the placement when an endpoint was found.
  *
  * @param state - request to place
- * @param inputs - endpoints, estimates, suspicions and own placements
- * @returns the place, or that the request waits, is held or fails
+ * @param inputs - endpoints, estimates, suspicions and placements of this daemon
+ * @returns the placement, or that the request waits, is held or fails
  */
 export const selectPlacement = (state: RequestState, inputs: RequestsInputs): PlacementResult => {
   const rule = inputs.suspicions.checkPlacement(state.request.fingerprint, inputs.now());
@@ -206,7 +206,7 @@
   switch (decision.kind) {
     case 'wait':
       return decision;
-    // Heartbeats may be late; the request waits for an endpoint until its deadline.
+    // A heartbeat may be late, so the request waits for an endpoint until its deadline.
     case 'refuse':
       return { kind: 'wait', reason: decision.failure.message };
     case 'place': {
--- a/packages/entry/requests/requestTable.ts
+++ b/packages/entry/requests/requestTable.ts
@@ -12,7 +12,7 @@
 import type { QueueEffect } from '../../decisions/fairness/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** State of the `requests` child with what it knows of the rest of the daemon. */
+/** State of the `requests` child, and its dependencies on the rest of the daemon. */
 export interface RequestsContext {
   readonly state: RequestsState;
   readonly inputs: RequestsInputs;
@@ -21,22 +21,22 @@
 type Effects = readonly EntryEffect[];
 
 /**
- * Tries to place a request that has no place.
+ * Tries to place a request that has no placement.
  *
- * @param waiting - request
+ * @param state - request
  * @param inputs - endpoints and estimates
  * @returns the step of the request
  */
-export const placeWaiting = (waiting: RequestState, inputs: RequestsInputs): RequestStep => {
-  switch (waiting.kind) {
+export const placeWaiting = (state: RequestState, inputs: RequestsInputs): RequestStep => {
+  switch (state.kind) {
     case 'generation':
-      return placeGeneration(waiting, inputs);
+      return placeGeneration(state, inputs);
     case 'call':
-      return placeCall(waiting, inputs);
+      return placeCall(state, inputs);
     case 'keyed':
-      return placeKeyed(waiting, inputs);
+      return placeKeyed(state, inputs);
     default:
-      return assertNever(waiting);
+      return assertNever(state);
   }
 };
 
@@ -45,24 +45,25 @@
   else state.table.set(requestId, step.state);
 };
 
-const enqueue = (context: RequestsContext, request: RequestState): Effects => {
-  const { requestId } = request.request;
+const enqueue = (context: RequestsContext, state: RequestState): Effects => {
+  const { requestId } = state.request;
   const queued: EntryEffect = {
     kind: 'log',
     name: 'request-queued',
-    details: { requestId, data: { reason: request.lastFailureReason } },
+    details: { requestId, data: { reason: state.lastFailureReason } },
   };
-  const waiting = toWaitingRequest(request, context.inputs);
+  const waiting = toWaitingRequest(state, context.inputs);
   const effects = context.state.queue.apply({ kind: 'enqueue', request: waiting });
   return [queued, ...handleQueueEffects(context, effects)];
 };
 
 /**
- * Puts the next state of a request into the table, and into the queue when it waits there.
+ * Stores the next state of a request in the table, and adds the request to the queue or removes it
+ * from there as that state says.
  *
  * @param context - table and queue
  * @param requestId - request
- * @param step - its decision
+ * @param step - step that was decided for it
  * @returns effects of the step and of the queue
  */
 export const storeStep = (
@@ -80,32 +81,33 @@
 };
 
 /**
- * Decides about a known request and stores the result; an unknown one is over.
+ * Applies a decision to a request and stores the result. A request that is not in the table has
+ * ended and is ignored.
  *
  * @param context - table and queue
  * @param requestId - request
- * @param decide - decision about it
+ * @param decide - decides the step of the request
  * @returns the effects
  */
 export const updateRequest = (
   context: RequestsContext,
   requestId: RequestId,
-  decide: (request: RequestState) => RequestStep,
+  decide: (state: RequestState) => RequestStep,
 ): Effects => {
   const state = context.state.table.get(requestId);
   return state === undefined ? [] : storeStep(context, requestId, decide(state));
 };
 
 /**
- * Decides about every request.
+ * Applies a decision to every request.
  *
  * @param context - table and queue
- * @param decide - decision about one request; null leaves it as it is
+ * @param decide - decides the step of one request; null leaves the request unchanged
  * @returns the effects
  */
 export const updateAll = (
   context: RequestsContext,
-  decide: (request: RequestState) => RequestStep | null,
+  decide: (state: RequestState) => RequestStep | null,
 ): Effects =>
   [...context.state.table.values()].flatMap((state) => {
     const step = decide(state);
@@ -126,7 +128,7 @@
 };
 
 /**
- * Refuses requests that the bounded queue gave up: shed under overload, or past their deadline.
+ * Refuses requests that the bounded queue dropped: shed under overload, or past their deadline.
  *
  * @param context - table and queue
  * @param effects - effects of the queue
@@ -145,7 +147,7 @@
   });
 
 /**
- * Offers room to waiting requests in fair order.
+ * Tries to place waiting requests in the fair order of the queue.
  *
  * @param context - table and queue
  * @returns the effects
@@ -154,9 +156,9 @@
   const { state, inputs } = context;
   const effects: EntryEffect[] = [];
   state.queue.drain((requestId) => {
-    const waiting = state.table.get(requestId);
-    if (waiting?.waiting !== 'in-queue') return 'placed';
-    const step = placeWaiting({ ...waiting, waiting: 'no' }, inputs);
+    const queued = state.table.get(requestId);
+    if (queued?.waiting !== 'in-queue') return 'placed';
+    const step = placeWaiting({ ...queued, waiting: 'no' }, inputs);
     if (step.state?.waiting === 'in-queue') return 'waits';
     storeState(context, requestId, step);
     effects.push(...step.effects);
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -82,8 +82,8 @@
 ): RequestStep => {
   switch (request.kind) {
     case 'generation':
-      // Without a key a request that is sent again is not recognised, and one attempt that may have
-      // run is never followed by another, so that an intent would add nothing.
+      // Without a key, a repeated request cannot be recognised, and an attempt that may have run is
+      // never followed by another one, so an intent would add no protection.
       return policy.repeat === 'never' && request.key !== null
         ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
         : placeGeneration(createGeneration(request, policy, inputs), inputs);
@@ -215,7 +215,7 @@
   }
 };
 
-/** Hands the running streams over to other entry daemons, through their callers. */
+/** Hands the running streams over to other entry daemons: their callers resume them there. */
 const transferStreams = (context: RequestsContext): Effects => {
   context.state.phase = 'handing-over';
   return updateAll(context, (state) =>
@@ -300,7 +300,7 @@
 };
 
 /**
- * Creates the decisions of the `requests` child: one state machine for each request.
+ * Creates the logic of the `requests` child, which runs one state machine per request.
  *
  * @param inputs - endpoints, classes, estimates and the intent log
  * @returns the child's logic
--- a/packages/entry/requests/suspectEffects.ts
+++ b/packages/entry/requests/suspectEffects.ts
@@ -6,7 +6,7 @@
 import type { SuspicionEffect } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** Letters of a fingerprint that an event shows; enough to tell two apart. */
+/** Number of characters of a fingerprint in log events; enough to tell two apart. */
 const SHOWN_FINGERPRINT_LENGTH = 16;
 
 const appendQuarantine = (
@@ -71,14 +71,17 @@
   }
 };
 
-/** Rounds in which placing a held request may free another; each round needs a new effect. */
+/**
+ * Maximum number of rounds per event. Placing a held request may release another one; a further
+ * round runs only when the previous one raised new effects.
+ */
 const MAX_ROUNDS = 16;
 
 /**
- * Handles the suspicions that the decisions of one event raised.
+ * Handles the suspicion effects that the decisions about one event produced.
  *
  * @param context - table and queue
- * @returns the effects
+ * @returns the effects for the daemon
  */
 export const handleSuspicions = (context: RequestsContext): readonly EntryEffect[] => {
   const effects: EntryEffect[] = [];
--- a/packages/entry/requests/suspicions.ts
+++ b/packages/entry/requests/suspicions.ts
@@ -12,20 +12,20 @@
 } from '../../decisions/quarantine/types.js';
 
 /**
- * Holder of the suspicion state. Every attempt writes to it from deep inside the decisions about a
- * request, so its effects are collected here and handled at the end of the event.
+ * Mutable suspicion state. Every attempt updates it from deep inside the decisions about a request,
+ * so its effects are collected here and handled at the end of the event.
  */
 export interface Suspicions {
   readonly checkPlacement: (fingerprint: string, now: Millis) => PlacementRule;
   readonly apply: (event: SuspicionEvent) => void;
-  /** Takes the effects since the last call. */
+  /** Returns the effects collected since the last call, and clears them. */
   readonly takeEffects: () => readonly SuspicionEffect[];
 }
 
 /**
- * Creates a holder without suspects.
+ * Creates a suspicion state without suspects.
  *
- * @returns the holder
+ * @returns the state with its operations
  */
 export const createSuspicions = (): Suspicions => {
   let state: SuspicionState = initSuspicion();
--- a/packages/entry/requests/waitingQueue.ts
+++ b/packages/entry/requests/waitingQueue.ts
@@ -12,13 +12,14 @@
 } from '../../decisions/fairness/types.js';
 import { NO_VERSION } from './constants.js';
 
-/** Requests that wait for an endpoint, in fair order. */
+/** Queue of requests that wait for an endpoint, with fair queueing between customers. */
 export interface WaitingQueue {
   readonly apply: (event: QueueEvent) => readonly QueueEffect[];
   /**
-   * Offers the next request of each lane until none of them finds room.
+   * Tries to place the first request of each lane until no lane has one that an endpoint accepts, or
+   * until `MAX_TRIES_PER_EVENT` is reached.
    *
-   * @param place - tries to place a request; tells whether it left the queue
+   * @param place - tries to place a request; reports whether it left the queue
    */
   readonly drain: (place: (requestId: RequestId) => 'placed' | 'waits') => void;
 }
@@ -26,7 +27,7 @@
 /**
  * Creates an empty queue.
  *
- * @param settings - bounds
+ * @param settings - bounds of the queue
  * @returns the queue
  */
 export const createWaitingQueue = (settings: QueueSettings): WaitingQueue => {
@@ -59,10 +60,10 @@
 };
 
 /**
- * Describes a request for the queue.
+ * Converts a request into the form that the queue stores.
  *
- * @param state - request without a place
- * @param inputs - length estimates and weights
+ * @param state - request without a placement
+ * @param inputs - clock, length estimates and customer weights
  * @returns the waiting request
  */
 export const toWaitingRequest = (state: RequestState, inputs: RequestsInputs): WaitingRequest => {
