--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -8,7 +8,7 @@
 import { resolveRefusal } from '../../decisions/retries/attempts.js';
 import type { EntryEffect } from '../events.js';
 
-/** Next state of one request with effects; the state is null when the request has ended. */
+/** Step of one request; its state is null when the request has ended. */
 export type RequestStep = Step<RequestState | null, EntryEffect>;
 
 /**
