--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -10,10 +10,10 @@
   toAttemptOutcome,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlace } from './placing.js';
+import { selectPlacement } from './placing.js';
 import { createRequestBase } from './requestBase.js';
-import { addSuccess, decideNextAttempt } from './retrying.js';
-import type { CallState, ClassPolicy, KeyedState, Placed } from './types.js';
+import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
+import type { CallState, ClassPolicy, KeyedState, RequestPlacement } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
 import type { EntryEffect } from '../events.js';
@@ -46,9 +46,9 @@
 /**
  * Builds the effects that send a call to an endpoint daemon.
  *
- * @param state - request with its place
+ * @param state - placed request
  * @param request - call of the caller
- * @param place - chosen endpoint
+ * @param placement - chosen endpoint
  * @param nonce - nonce of a call that runs at most once, else null
  * @param inputs - clock
  * @returns log and call effects
@@ -56,7 +56,7 @@
 export const buildCallEffects = (
   state: CallState | KeyedState,
   request: ServiceRequest,
-  place: Placed,
+  placement: RequestPlacement,
   nonce: string | null,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
@@ -68,14 +68,14 @@
       name: 'attempt-started',
       details: {
         requestId: request.requestId,
-        endpoint: place.endpoint,
+        endpoint: placement.endpoint,
         data: { attempt, ...(nonce === null ? {} : { nonce }) },
       },
     },
     {
       kind: 'call-endpoint',
       call: {
-        url: place.url,
+        url: placement.url,
         requestId: request.requestId,
         attempt,
         customer: request.customer,
@@ -86,7 +86,7 @@
         path: request.path,
         headers: request.headers,
         body: request.body,
-        incarnation: place.incarnation,
+        incarnation: placement.incarnation,
         nonce,
         key: state.kind === 'keyed' ? state.key : request.key,
         deadlineMs: Math.max(1, state.deadlineAt - inputs.now()),
@@ -97,14 +97,14 @@
 };
 
 /**
- * Tries to place an idempotent call and sends it there.
+ * Tries to place an idempotent call and sends it to the chosen endpoint.
  *
- * @param state - call without a place
+ * @param state - call without a placement
  * @param inputs - endpoints and estimates
- * @returns the step; the call waits in the queue when no endpoint has room
+ * @returns the step; the call waits in the queue when no endpoint has capacity
  */
 export const placeCall = (state: CallState, inputs: RequestsInputs): RequestStep => {
-  const result = selectPlace(state, inputs);
+  const result = selectPlacement(state, inputs);
   switch (result.kind) {
     case 'wait':
       return enqueueRequest(state, result.reason);
@@ -115,14 +115,14 @@
     case 'placed': {
       const next: CallState = {
         ...state,
-        place: result.place,
+        placement: result.placement,
         waiting: 'no',
         attempts: state.attempts + 1,
       };
       return toStep<CallState, EntryEffect>(
         next,
         ...result.effects,
-        ...buildCallEffects(next, next.request, result.place, null, inputs),
+        ...buildCallEffects(next, next.request, result.placement, null, inputs),
       );
     }
     default:
@@ -135,7 +135,7 @@
  *
  * @param state - request
  * @param answer - answer of the service
- * @param inputs - own placements
+ * @param inputs - clock, retry budgets and placements of this daemon
  * @returns the step that ends the request
  */
 export const sendAnswer = (
@@ -147,7 +147,7 @@
   const now = inputs.now();
   const { className } = state.policy;
   releaseAttempt(state, 'well', inputs);
-  addSuccess(state, inputs);
+  recordRequestSuccess(state, inputs);
   return toStep<CallState | null, EntryEffect>(
     null,
     { kind: 'send-answer', requestId, answer },
@@ -158,7 +158,7 @@
       name: 'request-finished',
       details: {
         requestId,
-        ...(state.place === null ? {} : { endpoint: state.place.endpoint }),
+        ...(state.placement === null ? {} : { endpoint: state.placement.endpoint }),
         data: { status: answer.status, class: className, durationMs: Math.round(now - receivedAt) },
       },
     },
@@ -166,7 +166,7 @@
 };
 
 /**
- * Applies the end of an idempotent call's attempt.
+ * Applies the end of an attempt of an idempotent call.
  *
  * @param state - call
  * @param completion - how the attempt ended
@@ -188,8 +188,8 @@
       const ended = logAttemptEnd(state, completion.failure);
       const next = decideNextAttempt(state, completion.failure, inputs);
       if (next.kind === 'give-up') return failRequest(state, next.failure, inputs, [ended]);
-      const again: CallState = { ...state, ...next.changes, place: null };
-      return toStep<CallState, EntryEffect>(again, ended, ...next.effects);
+      const retrying: CallState = { ...state, ...next.changes, placement: null };
+      return toStep<CallState, EntryEffect>(retrying, ended, ...next.effects);
     }
     default:
       return assertNever(completion);
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -13,7 +13,7 @@
   OpenCall,
   OpenGeneration,
 } from './endpointMessages.js';
-import { checkSent, getReason } from './transportErrors.js';
+import { checkSent, getErrorMessage } from './transportErrors.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { GenerationId, Incarnation } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
@@ -55,7 +55,7 @@
 /**
  * Creates the adapter that calls endpoint daemons. Each completion is posted as an event.
  *
- * @param entry - name of this process, for the endpoint daemons' events
+ * @param entry - name of this process, sent to endpoint daemons with each call
  * @param post - receives the completions
  * @returns the adapter
  */
@@ -67,8 +67,8 @@
   const links = new Map<string, AbortController>();
 
   const connect = (url: string): EndpointRpc => {
-    const known = connections.get(url);
-    if (known !== undefined) return known.client;
+    const existing = connections.get(url);
+    if (existing !== undefined) return existing.client;
     const manager = createPeerSession(url);
     const transport = createConnectTransport({
       baseUrl: url,
@@ -82,13 +82,13 @@
   };
 
   /**
-   * Leaves a connection whose call failed to its session manager; the next call opens another one.
-   * The streams of a dying HTTP/2 session fail before the session emits its own error. A call that
-   * reopened the same manager in between would take the error listener off the dying session, and
-   * the unhandled error would end this process.
+   * Forgets a connection whose call failed, so that the next call creates a new session manager.
+   * The streams of a failing HTTP/2 session fail before the session emits its own error. A call that
+   * reopened the same manager in between would remove the error listener from the failing session,
+   * and the unhandled error would end this process.
    */
   const releaseConnection = (url: string, client: EndpointRpc, error: unknown): void => {
-    // A call that only took too long tells nothing about its connection.
+    // A timeout of a call says nothing about the state of its connection.
     if (ConnectError.from(error).code === Code.DeadlineExceeded) return;
     if (connections.get(url)?.client === client) connections.delete(url);
   };
@@ -118,7 +118,7 @@
     }
   };
 
-  const readLink = async (open: OpenGeneration): Promise<void> => {
+  const readGeneration = async (open: OpenGeneration): Promise<void> => {
     const { requestId, generationId, link } = open;
     const key: LinkKey = { requestId, generationId, link };
     const tooLarge = checkBodySize(open.body, 'body', 'not-run');
@@ -129,7 +129,7 @@
     const controller = new AbortController();
     const linkId = getLinkId(generationId, link);
     links.set(linkId, controller);
-    const opening = setTimeout(() => {
+    const openTimer = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
     const client = connect(open.url);
@@ -156,17 +156,22 @@
       });
       const events = client.generate(message, { signal: controller.signal });
       for await (const event of events) {
-        clearTimeout(opening);
+        clearTimeout(openTimer);
         if (postEvent(key, event) === 'ended') return;
       }
-      post({ kind: 'link-lost', ...key, sent: 'sent', reason: 'the stream ended without an end' });
+      post({
+        kind: 'link-lost',
+        ...key,
+        sent: 'sent',
+        reason: 'the stream closed before the generation finished or failed',
+      });
     } catch (error) {
       if (!links.has(linkId)) return;
       releaseConnection(open.url, client, error);
-      const reason = getReason(error);
+      const reason = getErrorMessage(error);
       post({ kind: 'link-lost', ...key, sent: checkSent(error), reason });
     } finally {
-      clearTimeout(opening);
+      clearTimeout(openTimer);
       links.delete(linkId);
     }
   };
@@ -185,7 +190,11 @@
           failure: decodeCallFailure(result.value),
         };
       case undefined: {
-        const failure = createFailure('may-have-run', 'internal', 'empty answer of the daemon');
+        const failure = createFailure(
+          'may-have-run',
+          'internal',
+          'the endpoint daemon sent an empty response',
+        );
         return { kind: 'call-failed', requestId, attempt, failure };
       }
       default:
@@ -194,18 +203,19 @@
   };
 
   const toTransportFailure = (error: unknown): Failure => {
-    const reason = getReason(error);
+    const reason = getErrorMessage(error);
     if (checkSent(error) === 'unsent') return createFailure('not-run', 'endpoint-lost', reason);
     const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
     return createFailure(
       'may-have-run',
-      // The code differs from a broken endpoint's, which would put what it ran under suspicion.
+      // A timeout has a code of its own, since that of a failed endpoint would make the requests that
+      // it ran suspects.
       isTimeout ? 'deadline-exceeded' : 'endpoint-failed',
       `no answer from the endpoint daemon: ${reason}`,
     );
   };
 
-  const callOnce = async (call: OpenCall): Promise<void> => {
+  const sendCall = async (call: OpenCall): Promise<void> => {
     const { requestId, attempt } = call;
     const tooLarge = checkBodySize(call.body, 'body', 'not-run');
     if (tooLarge !== null) {
@@ -253,9 +263,9 @@
     }
   };
 
-  const askFence = async (question: FenceQuestion): Promise<void> => {
-    const { requestId, nonce, incarnation } = question;
-    const client = connect(question.url);
+  const sendFence = async (command: FenceQuestion): Promise<void> => {
+    const { requestId, nonce, incarnation } = command;
+    const client = connect(command.url);
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
@@ -263,8 +273,8 @@
       const result = toFenceAnswer(response.result, response.answer);
       post({ kind: 'fence-answered', requestId, nonce, result });
     } catch (error) {
-      releaseConnection(question.url, client, error);
-      const result: FenceAnswer = { kind: 'unreachable', reason: getReason(error) };
+      releaseConnection(command.url, client, error);
+      const result: FenceAnswer = { kind: 'unreachable', reason: getErrorMessage(error) };
       post({ kind: 'fence-answered', requestId, nonce, result });
     }
   };
@@ -279,7 +289,7 @@
       generationId,
       incarnation,
     });
-    // A lost cancel is covered by the orphan timeout of the endpoint daemon.
+    // If the cancel is lost, the orphan timeout of the endpoint daemon ends the generation.
     const client = connect(url);
     await client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS }).catch((error: unknown) => {
       releaseConnection(url, client, error);
@@ -287,7 +297,7 @@
   };
 
   return {
-    openGeneration: (open) => void readLink(open),
+    openGeneration: (open) => void readGeneration(open),
     closeLink: (generationId, link) => {
       const linkId = getLinkId(generationId, link);
       const controller = links.get(linkId);
@@ -296,8 +306,8 @@
     },
     cancelGeneration: (url, generationId, incarnation) =>
       void sendCancel(url, generationId, incarnation),
-    callEndpoint: (call) => void callOnce(call),
-    fenceNonce: (question) => void askFence(question),
+    callEndpoint: (call) => void sendCall(call),
+    fenceNonce: (command) => void sendFence(command),
     close: () => {
       for (const controller of links.values()) controller.abort();
       links.clear();
--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -5,21 +5,21 @@
 import type { ServiceAnswer } from '../types.js';
 
 /**
- * Adds the digest to an answer.
+ * Adds the digest of the body to an answer.
  *
  * @param answer - answer of the endpoint
  * @returns the answer for the intent
  */
-export const toStored = (answer: ServiceAnswer): StoredAnswer => ({
+export const toStoredAnswer = (answer: ServiceAnswer): StoredAnswer => ({
   ...answer,
   bodyDigest: createHash('sha256').update(answer.body).digest('base64url'),
 });
 
 /**
- * Reads the reply of an endpoint daemon to a fence.
+ * Converts the reply of an endpoint daemon to a fence request into the result for the intent.
  *
  * @param answer - reply as the adapter received it
- * @returns the reply for the intent
+ * @returns the result for the intent
  */
 export const toFenceResult = (answer: FenceAnswer): FenceResult => {
   switch (answer.kind) {
@@ -30,7 +30,7 @@
     case 'unreachable':
       return { kind: 'unreachable' };
     case 'finished': {
-      const stored = answer.answer === null ? null : toStored(answer.answer);
+      const stored = answer.answer === null ? null : toStoredAnswer(answer.answer);
       return {
         kind: 'finished',
         answer: stored,
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -1,6 +1,6 @@
 import { buildCallEffects, sendAnswer } from './call.js';
 import type { CallCompletion } from './call.js';
-import { toStored } from './fenceResults.js';
+import { toStoredAnswer } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
 import {
   applyKeyedDelivery,
@@ -19,7 +19,7 @@
   reportCrash,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlace } from './placing.js';
+import { selectPlacement } from './placing.js';
 import { createRequestBase } from './requestBase.js';
 import type { ClassPolicy, KeyedState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -50,7 +50,7 @@
   policy: ClassPolicy,
   inputs: RequestsInputs,
 ): KeyedState => {
-  // A call without a key cannot be recognised when it is sent again, but its own attempts still
+  // A call without a key is not recognised when the caller repeats it, but its own attempts still
   // run at most once.
   const key = request.key ?? inputs.createId();
   const base = createRequestBase(policy, inputs);
@@ -73,14 +73,14 @@
   };
 };
 
-const toView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
-  const { log, standing, nextOffset, kept } = inputs.getIntentLog();
+const toIntentView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
+  const { log, standing, nextOffset, kept: counts } = inputs.getIntentLog();
   return {
     now: inputs.now(),
     log,
     standing,
     nextOffset,
-    keyCounts: kept,
+    keyCounts: counts,
     chain: inputs.findChain(state.request.customer, state.key),
     keys: inputs.limits,
     limits: DEFAULT_INTENT_LIMITS,
@@ -90,12 +90,12 @@
 /**
  * Tries to find an endpoint for the next intent.
  *
- * @param state - keyed call in the phase `choosing`
+ * @param state - keyed request whose intent is in state `choosing`
  * @param inputs - endpoints and estimates
- * @returns the step; the call waits in the queue when no endpoint has room
+ * @returns the step; the request waits in the queue when no endpoint has capacity
  */
 export const placeKeyed = (state: KeyedState, inputs: RequestsInputs): RequestStep => {
-  const result = selectPlace(state, inputs);
+  const result = selectPlacement(state, inputs);
   switch (result.kind) {
     case 'wait':
       return enqueueRequest(state, result.reason);
@@ -104,8 +104,8 @@
     case 'fail':
       return applyIntent(state, { kind: 'endpoint-unavailable', failure: result.failure }, inputs);
     case 'placed': {
-      const { endpoint, incarnation } = result.place;
-      const placed: KeyedState = { ...state, place: result.place, waiting: 'no' };
+      const { endpoint, incarnation } = result.placement;
+      const placed: KeyedState = { ...state, placement: result.placement, waiting: 'no' };
       const nonce = inputs.createId();
       const step = applyIntent(
         placed,
@@ -125,13 +125,18 @@
   inputs: RequestsInputs,
 ): RequestStep => {
   const url = inputs.findReport(effect.endpoint)?.rpcUrl;
-  if (url === undefined || state.place === null) {
+  if (url === undefined || state.placement === null) {
     const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
     const result = { kind: 'refused', failure } as const;
     return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
   }
-  const place = { ...state.place, url, endpoint: effect.endpoint, incarnation: effect.incarnation };
-  const next: KeyedState = { ...state, place, attempts: state.attempts + 1 };
+  const placement = {
+    ...state.placement,
+    url,
+    endpoint: effect.endpoint,
+    incarnation: effect.incarnation,
+  };
+  const next: KeyedState = { ...state, placement, attempts: state.attempts + 1 };
   const active: EntryEffect = {
     kind: 'log',
     name: 'intent-active',
@@ -140,11 +145,11 @@
   const { request } = state;
   switch (request.kind) {
     case 'service': {
-      const calls = buildCallEffects(next, request, place, effect.nonce, inputs);
+      const calls = buildCallEffects(next, request, placement, effect.nonce, inputs);
       return toStep<KeyedState, EntryEffect>(next, active, ...calls);
     }
     case 'generation': {
-      const step = startKeyedStream(next, request, place, effect.nonce, inputs);
+      const step = startKeyedStream(next, request, placement, effect.nonce, inputs);
       return toStep<KeyedState, EntryEffect>(step.state, active, ...step.effects);
     }
     default:
@@ -176,7 +181,7 @@
   inputs: RequestsInputs,
 ): RequestStep => {
   const status = effect.status?.toString() ?? 'unknown';
-  const text = `the request ran before with status ${status}; its answer is no longer held (digest ${effect.bodyDigest ?? 'unknown'})`;
+  const text = `the request already ran with status ${status}; its answer is no longer stored (digest ${effect.bodyDigest ?? 'unknown'})`;
   return failRequest(state, createFailure('ran', 'key-unresolved', text), inputs);
 };
 
@@ -231,7 +236,7 @@
     case 'choose-endpoint': {
       releaseAttempt(state, 'refused', inputs);
       const excluded = new Set([...state.excluded, ...effect.exclude]);
-      return placeKeyed({ ...state, place: null, excluded }, inputs);
+      return placeKeyed({ ...state, placement: null, excluded }, inputs);
     }
     case 'append-records':
       return appendRecords(state, effect);
@@ -244,7 +249,7 @@
       return dispatch(state, effect, inputs);
     case 'fence':
       return fence(state, effect, inputs);
-    // The outcome record is still to be appended, so the request lives on without its caller.
+    // The outcome record is not appended yet, so the request stays in the table without its caller.
     case 'answer':
       return { state: served, effects: isServed ? [] : replyToCaller(state, effect, inputs) };
     case 'answer-digest':
@@ -268,9 +273,9 @@
 };
 
 /**
- * Applies one event to the intent of a keyed call.
+ * Applies one event to the intent of a keyed request.
  *
- * @param state - keyed call
+ * @param state - keyed request
  * @param event - event of its intent
  * @param inputs - endpoints, estimates and the key's chain
  * @returns the step of the request
@@ -280,7 +285,7 @@
   event: IntentEvent,
   inputs: RequestsInputs,
 ): RequestStep => {
-  const step = decideIntent(state.intent, event, toView(state, inputs));
+  const step = decideIntent(state.intent, event, toIntentView(state, inputs));
   let current: KeyedState = { ...state, intent: step.state };
   const effects: EntryEffect[] = [];
   for (const effect of step.effects) {
@@ -294,7 +299,7 @@
 const toDispatchResult = (completion: CallCompletion): DispatchResult => {
   switch (completion.kind) {
     case 'call-answered':
-      return { kind: 'answered', answer: toStored(completion.answer) };
+      return { kind: 'answered', answer: toStoredAnswer(completion.answer) };
     case 'call-failed': {
       const { failure } = completion;
       return { kind: failure.verdict === 'not-run' ? 'refused' : 'unknown', failure };
@@ -307,7 +312,7 @@
 /**
  * Applies the end of a dispatch.
  *
- * @param state - keyed call
+ * @param state - keyed request
  * @param completion - how the dispatch ended
  * @param inputs - endpoints and estimates
  * @returns the step of the request
@@ -344,7 +349,7 @@
  * Applies a completion of the link to a generation that runs at most once.
  *
  * @param state - keyed request
- * @param completion - what arrived from the endpoint daemon
+ * @param completion - completion received from the endpoint daemon
  * @param inputs - endpoints and estimates
  * @returns the step of the request
  */
@@ -355,7 +360,8 @@
 ): RequestStep => applyStreamStep(state, applyKeyedLink(state, completion, inputs), inputs);
 
 /**
- * Applies another event of the stream of a generation that runs at most once.
+ * Applies an event of the stream that does not come from its link, to a generation that runs at most
+ * once.
  *
  * @param state - keyed request
  * @param event - event of its stream
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -5,7 +5,7 @@
 import { createKeyed } from './keyed.js';
 import { applyKeyedDelivery, applyKeyedLink, startKeyedStream } from './keyedStream.js';
 import type { LinkCompletion } from './links.js';
-import type { KeyedState, Placed } from './types.js';
+import type { KeyedState, RequestPlacement } from './types.js';
 import { createFailure } from '../../core/verdict.js';
 import type { DeliveryEvent } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
@@ -16,7 +16,7 @@
 const NONCE = 'nonce-1';
 const TOTAL = 3;
 
-const PLACE: Placed = {
+const PLACEMENT: RequestPlacement = {
   endpoint: 'endpoint-1',
   incarnation: 'i',
   engineStart: 's',
@@ -45,7 +45,7 @@
 
 const handleNothing = (): void => undefined;
 
-/** The parts of the daemon that a stream reports to; none of them decides anything here. */
+/** Stubs of the parts of the daemon that a stream calls; they record and decide nothing. */
 const buildInputs = (clock: { now: number }): RequestsInputs =>
   ({
     now: () => clock.now,
@@ -132,7 +132,7 @@
     clock.now += action.afterMs;
     return applyKeyedLink(state, action.completion, inputs);
   }
-  const { endpoint, incarnation } = PLACE;
+  const { endpoint, incarnation } = PLACEMENT;
   const event: DeliveryEvent =
     action.event === 'endpoint-gone'
       ? { kind: 'endpoint-gone', endpoint, incarnation }
@@ -146,7 +146,7 @@
   'hand-over',
 ]);
 
-// Guards against a stream that starts its generation a second time, stops it although its key may
+// Guards against a stream that starts its generation a second time, cancels it although its key may
 // be sent again, or ends its caller's request twice or before the dispatch has ended.
 test('the stream of a dispatched nonce starts it once and never cancels it', (t) => {
   const seen = { answered: 0, refused: 0, unknown: 0 };
@@ -155,7 +155,7 @@
     const inputs = buildInputs(clock);
     const policy = { ...DEFAULT_CLASS, repeat: 'never' } as const;
     const keyed = createKeyed(REQUEST, policy, inputs);
-    const started = startKeyedStream(keyed, REQUEST, PLACE, NONCE, inputs);
+    const started = startKeyedStream(keyed, REQUEST, PLACEMENT, NONCE, inputs);
     let { state } = started;
     const effects = [...started.effects];
     let ends = 0;
@@ -171,15 +171,20 @@
       (effect) => effect.kind === 'open-generation' && effect.open.mode === 'start',
     );
     const callerEnds = effects.filter(({ kind }) => ENDS.has(kind)).length;
-    if (starts.length !== 1) throw new Error(`${starts.length.toString()} starts`);
-    if (effects.some(({ kind }) => kind === 'cancel-generation')) throw new Error('cancelled');
+    if (starts.length !== 1)
+      throw new Error(`the generation was started ${starts.length.toString()} times`);
+    if (effects.some(({ kind }) => kind === 'cancel-generation'))
+      throw new Error('the generation was cancelled');
     if (ends > 1) throw new Error(`the dispatch ended ${ends.toString()} times`);
-    if (callerEnds > ends) throw new Error('the caller was served while the dispatch went on');
-    if (callerEnds === 1 && state.caller !== 'served') throw new Error('the caller waits on');
-    if (ends === 1 && state.stream !== null) throw new Error('the stream goes on after its end');
+    if (callerEnds > ends)
+      throw new Error('the caller was served while the dispatch was still running');
+    if (callerEnds === 1 && state.caller !== 'served')
+      throw new Error('the caller still waits after its request ended');
+    if (ends === 1 && state.stream !== null)
+      throw new Error('the stream remains after the dispatch ended');
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   t.log(JSON.stringify(seen));
-  // Runs without any end would pass as well.
+  // Without this check, the test would pass if no run ever reached an end.
   t.true(Object.values(seen).every((count) => count > RUNS / 100));
 });
--- a/packages/entry/requests/openLink.ts
+++ b/packages/entry/requests/openLink.ts
@@ -1,5 +1,5 @@
 import type { RequestsInputs } from './inputs.js';
-import type { GenerationState, Placed } from './types.js';
+import type { GenerationState, RequestPlacement } from './types.js';
 import type { GenerationId } from '../../core/ids.js';
 import type { DeliveryEffect } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
@@ -8,31 +8,31 @@
  * Builds the effect that starts a generation at its endpoint.
  *
  * @param state - generation
- * @param place - chosen endpoint
- * @param generationId - fresh id
+ * @param placement - chosen endpoint
+ * @param generationId - new id
  * @param nonce - nonce of a generation that runs at most once, else null
  * @param inputs - clock
  * @returns the effect that opens the first link
  */
-export const openStart = (
+export const buildStartEffect = (
   state: GenerationState,
-  place: Placed,
+  placement: RequestPlacement,
   generationId: GenerationId,
   nonce: string | null,
   inputs: RequestsInputs,
 ): EntryEffect => {
   const { request, policy } = state;
-  if (request.kind === 'resume') throw new Error('a resumed stream starts no generation');
+  if (request.kind === 'resume') throw new Error('a resumed stream cannot start a generation');
   return {
     kind: 'open-generation',
     open: {
       requestId: request.requestId,
       generationId,
       link: 0,
-      url: place.url,
+      url: placement.url,
       mode: 'start',
       fromNumber: 0,
-      incarnation: place.incarnation,
+      incarnation: placement.incarnation,
       customer: request.customer,
       className: policy.className,
       route: 'chat',
@@ -47,19 +47,19 @@
 };
 
 /**
- * Builds the effects that go on with a generation on a new link.
+ * Builds the effects that resume a generation on a new link.
  *
  * @param state - generation
- * @param effect - what the stream wants to resume
+ * @param effect - resume that the stream requested
  * @param inputs - clock
- * @returns effects that close the link before, log, and open the new one
+ * @returns effects that close the previous link, log the resume and open the new link
  */
-export const openResume = (
+export const buildResumeEffects = (
   state: GenerationState,
   effect: Extract<DeliveryEffect, { readonly kind: 'resume' }>,
   inputs: RequestsInputs,
 ): readonly EntryEffect[] => {
-  const { request, policy, place } = state;
+  const { request, policy, placement } = state;
   const { source, fromNumber, link } = effect;
   const { generationId } = source;
   const opened: EntryEffect = {
@@ -68,7 +68,7 @@
       requestId: request.requestId,
       generationId,
       link,
-      url: place?.url ?? '',
+      url: placement?.url ?? '',
       mode: 'resume',
       fromNumber,
       incarnation: source.incarnation,
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -1,6 +1,6 @@
 import { NO_VERSION } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
-import type { Placed, RequestState } from './types.js';
+import type { RequestPlacement, RequestState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Failure } from '../../core/verdict.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
@@ -13,24 +13,28 @@
 import type { PlacementRule } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** Result of one try to place a request. */
-export type PlacingResult =
-  | { readonly kind: 'placed'; readonly place: Placed; readonly effects: readonly EntryEffect[] }
+/** Result of one attempt to place a request. */
+export type PlacementResult =
+  | {
+      readonly kind: 'placed';
+      readonly placement: RequestPlacement;
+      readonly effects: readonly EntryEffect[];
+    }
   | { readonly kind: 'wait'; readonly reason: string }
-  /** The request is suspected of crashing endpoints and waits until it may run alone. */
+  /** The request is suspected of crashing endpoints and is held until it may run alone. */
   | { readonly kind: 'hold' }
   | { readonly kind: 'fail'; readonly failure: Failure };
 
 /**
- * Returns the prompt's size for memory and fairness.
+ * Returns the prompt size that memory estimates and fair queueing use.
  *
  * @param state - request
- * @returns tokens; 0 for calls to plain services
+ * @returns number of tokens; 0 for calls to plain services
  */
 export const getPromptTokens = ({ request }: RequestState): number =>
   request.kind === 'generation' ? request.promptTokens : 0;
 
-/** Lists what may serve a request, in order of preference. */
+/** Lists the targets that may serve a request, in order of preference. */
 const listTargets = (
   { request }: RequestState,
   inputs: RequestsInputs,
@@ -46,13 +50,13 @@
     case 'service':
       return [{ kind: 'service', service: request.service }];
     case 'resume':
-      throw new Error('a resumed stream is bound to its endpoint and is never placed');
+      throw new Error('a resumed stream is bound to its endpoint and cannot be placed');
     default:
       return assertNever(request);
   }
 };
 
-const listAllowed = (
+const listAllowedEndpoints = (
   endpoints: readonly EndpointView[],
   rule: PlacementRule,
 ): readonly EndpointView[] => {
@@ -113,54 +117,58 @@
   },
 });
 
-const trackPlace = (state: RequestState, place: Placed, inputs: RequestsInputs): void => {
+const recordPlacement = (
+  state: RequestState,
+  placement: RequestPlacement,
+  inputs: RequestsInputs,
+): void => {
   const { request, policy } = state;
   const { requestId, fingerprint } = request;
   inputs.own.trackPlacement({
     requestId,
-    endpoint: place.endpoint,
+    endpoint: placement.endpoint,
     className: policy.className,
     customer: request.customer,
-    version: place.version,
+    version: placement.version,
     promptTokens: getPromptTokens(state),
     generated: 0,
     report: 'not-included',
-    placedAt: place.placedAt,
+    placedAt: placement.placedAt,
   });
   inputs.suspicions.apply({
     kind: 'attempt-started',
     requestId,
     fingerprint,
-    endpoint: place.endpoint,
-    incarnation: place.engineStart,
+    endpoint: placement.endpoint,
+    incarnation: placement.engineStart,
   });
 };
 
-const toPlace = (
+const applyPlacement = (
   state: RequestState,
   decision: Extract<PlacementDecision, { readonly kind: 'place' }>,
   view: EndpointView | undefined,
   inputs: RequestsInputs,
-): PlacingResult => {
-  const report = inputs.findReport(decision.endpoint);
-  if (view === undefined || report === undefined) {
+): PlacementResult => {
+  const heartbeat = inputs.findReport(decision.endpoint);
+  if (view === undefined || heartbeat === undefined) {
     return { kind: 'wait', reason: 'the chosen endpoint has no address yet' };
   }
-  const place: Placed = {
+  const placement: RequestPlacement = {
     endpoint: decision.endpoint,
     incarnation: decision.incarnation,
-    engineStart: report.engineStart,
-    url: report.rpcUrl,
+    engineStart: heartbeat.engineStart,
+    url: heartbeat.rpcUrl,
     model: view.model ?? '',
     version: view.version ?? NO_VERSION,
     placedAt: inputs.now(),
   };
-  trackPlace(state, place, inputs);
-  return { kind: 'placed', place, effects: [logPlacement(state, decision)] };
+  recordPlacement(state, placement, inputs);
+  return { kind: 'placed', placement, effects: [logPlacement(state, decision)] };
 };
 
-/** Takes the next target only when no endpoint of the one before takes work at all. */
-const choosePlace = (
+/** Considers the next target only when no endpoint of the previous one accepts work at all. */
+const choosePlacementByTarget = (
   state: RequestState,
   endpoints: readonly EndpointView[],
   inputs: RequestsInputs,
@@ -175,7 +183,7 @@
       inputs.random,
     );
   const [first, ...others] = listTargets(state, inputs);
-  if (first === undefined) throw new Error('a request without a target');
+  if (first === undefined) throw new Error('the request has no placement target');
   return others.reduce(
     (decision, target) => (decision.kind === 'refuse' ? decide(target) : decision),
     decide(first),
@@ -183,27 +191,27 @@
 };
 
 /**
- * Tries to place a request and tracks the placement.
+ * Tries to place a request, and records the placement when an endpoint was found.
  *
  * @param state - request to place
- * @param inputs - endpoints, estimates, suspicions and own placements
- * @returns the place, or that the request waits, is held or fails
+ * @param inputs - endpoints, estimates, suspicions and placements of this daemon
+ * @returns the placement, or that the request waits, is held or fails
  */
-export const selectPlace = (state: RequestState, inputs: RequestsInputs): PlacingResult => {
+export const selectPlacement = (state: RequestState, inputs: RequestsInputs): PlacementResult => {
   const rule = inputs.suspicions.checkPlacement(state.request.fingerprint, inputs.now());
   if (rule.kind === 'refuse') return { kind: 'fail', failure: rule.failure };
   if (rule.kind === 'hold') return { kind: 'hold' };
-  const endpoints = listAllowed(inputs.listEndpoints(), rule);
-  const decision = choosePlace(state, endpoints, inputs);
+  const endpoints = listAllowedEndpoints(inputs.listEndpoints(), rule);
+  const decision = choosePlacementByTarget(state, endpoints, inputs);
   switch (decision.kind) {
     case 'wait':
       return decision;
-    // Heartbeats may be late; the request waits for an endpoint until its deadline.
+    // A heartbeat may be late, so the request waits for an endpoint until its deadline.
     case 'refuse':
       return { kind: 'wait', reason: decision.failure.message };
     case 'place': {
       const view = endpoints.find(({ endpoint }) => endpoint === decision.endpoint);
-      return toPlace(state, decision, view, inputs);
+      return applyPlacement(state, decision, view, inputs);
     }
     default:
       return assertNever(decision);
--- a/packages/entry/requests/suspectEffects.ts
+++ b/packages/entry/requests/suspectEffects.ts
@@ -6,7 +6,7 @@
 import type { SuspicionEffect } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** Letters of a fingerprint that an event shows; enough to tell two apart. */
+/** Number of characters of a fingerprint in log events; enough to tell two apart. */
 const SHOWN_FINGERPRINT_LENGTH = 16;
 
 const appendQuarantine = (
@@ -57,28 +57,31 @@
     case 'suspect-cleared':
       return [];
     case 'place-held':
-      return updateRequest(context, effect.requestId, (known) =>
-        known.waiting === 'held'
-          ? placeWaiting({ ...known, waiting: 'no' }, inputs)
-          : toStep(known),
+      return updateRequest(context, effect.requestId, (state) =>
+        state.waiting === 'held'
+          ? placeWaiting({ ...state, waiting: 'no' }, inputs)
+          : toStep(state),
       );
     case 'refuse-held':
-      return updateRequest(context, effect.requestId, (known) =>
-        failRequest(known, effect.failure, inputs),
+      return updateRequest(context, effect.requestId, (state) =>
+        failRequest(state, effect.failure, inputs),
       );
     default:
       return assertNever(effect);
   }
 };
 
-/** Rounds in which placing a held request may free another; each round needs a new effect. */
+/**
+ * Maximum number of rounds per event. Placing a held request may release another one; a further
+ * round runs only when the previous one raised new effects.
+ */
 const MAX_ROUNDS = 16;
 
 /**
- * Handles the suspicions that the decisions of one event raised.
+ * Handles the suspicion effects that the decisions about one event produced.
  *
  * @param context - table and queue
- * @returns the effects
+ * @returns the effects for the daemon
  */
 export const handleSuspicions = (context: RequestsContext): readonly EntryEffect[] => {
   const effects: EntryEffect[] = [];
