Reword the platform children of the entry daemon

'takes', 'again' and 'back' did not say what the functions and effects do: they are applyBatch, nextRead, nextUpkeep and recovered now. snapshotAt held an offset and snapshotSeenAt an instant; they are snapshotOffset and snapshotReadAt. The comment on CARRY_AFTER_MS named the newest record, while the code measures the age at the oldest record that the chain needs. The tests say which failure of a reader they guard against.

--- a/packages/entry/platform/appends/appends.ts
+++ b/packages/entry/platform/appends/appends.ts
@@ -14,22 +14,24 @@
   MAX_PENDING_APPENDS,
 } from '../constants.js';
 
-interface Waiting {
+/** Record to append, and the receiver of the result. */
+interface AppendPayload {
   readonly record: unknown;
   readonly owner: AppendOwner;
 }
 
-type Pending = PendingAppend<Waiting>;
+type Pending = PendingAppend<AppendPayload>;
 
+/** Appends that are sent to the log in one request. */
 interface Batch {
   readonly stream: LogStream;
   readonly appends: readonly Pending[];
 }
 
-/** Appends that wait for a group commit and batches under way. */
+/** Appends that wait for a group commit, and batches in flight. */
 export interface AppendsState {
   readonly pending: Readonly<Record<LogStream, readonly Pending[]>>;
-  /** Owned by the `appends` child and updated in place. */
+  /** Batches in flight by id. Owned by the `appends` child and updated in place. */
   readonly batches: Map<number, Batch>;
   readonly nextBatchId: number;
 }
@@ -39,7 +41,7 @@
   readonly effects: readonly EntryEffect[];
 }
 
-const LIMITS = {
+const COMMIT_LIMITS = {
   maxRecords: COMMIT_MAX_RECORDS,
   maxBytes: COMMIT_MAX_BYTES,
   maxDelayMs: COMMIT_MAX_DELAY_MS,
@@ -57,7 +59,7 @@
       const event = { to: 'operator', kind: 'append-ended', operationId, result } as const;
       return [{ kind: 'post', event }];
     }
-    // Records that the daemon appends for itself are planned again while they are still due.
+    // The daemon plans its own records again as long as they are due, so a failure needs no reply.
     case 'own-record':
       return [];
     default:
@@ -76,14 +78,14 @@
   );
 };
 
-/** Commits what is due; what exceeds the appends in flight waits for one of them to end. */
+/** Sends batches that are due; those over the in-flight limit wait until an append ends. */
 const commitDue = (state: AppendsState, stream: LogStream, now: Millis): AppendsStep => {
-  const room = MAX_APPENDS_IN_FLIGHT - countInFlight(state, stream);
-  if (room <= 0) return { state, effects: [] };
-  const plan = planGroupCommit(state.pending[stream], now, LIMITS);
-  const batches = plan.batches.slice(0, room);
-  const held = plan.batches.slice(room).flat();
-  const pending = { ...state.pending, [stream]: [...held, ...plan.rest] };
+  const freeSlots = MAX_APPENDS_IN_FLIGHT - countInFlight(state, stream);
+  if (freeSlots <= 0) return { state, effects: [] };
+  const plan = planGroupCommit(state.pending[stream], now, COMMIT_LIMITS);
+  const batches = plan.batches.slice(0, freeSlots);
+  const deferred = plan.batches.slice(freeSlots).flat();
+  const pending = { ...state.pending, [stream]: [...deferred, ...plan.rest] };
   const effects: EntryEffect[] = [];
   let next: AppendsState = { ...state, pending };
   for (const appends of batches) {
@@ -104,9 +106,9 @@
   now: Millis,
 ): AppendsStep => {
   const { stream, record, owner } = event;
-  const waiting = state.pending[stream];
-  if (waiting.length >= MAX_PENDING_APPENDS) {
-    const message = 'too many appends wait for the log';
+  const queued = state.pending[stream];
+  if (queued.length >= MAX_PENDING_APPENDS) {
+    const message = 'too many appends are pending';
     return { state, effects: replyOwner(owner, { kind: 'rejected', message }) };
   }
   const append: Pending = {
@@ -114,11 +116,12 @@
     bytes: Buffer.byteLength(JSON.stringify(record)),
     since: now,
   };
-  const pending = { ...state.pending, [stream]: [...waiting, append] };
+  const pending = { ...state.pending, [stream]: [...queued, append] };
   return commitDue({ ...state, pending }, stream, now);
 };
 
-const toOwnResult = (result: AppendResult, index: number): AppendResult =>
+/** Derives the result of one record from that of its batch, which has the first offset. */
+const toRecordResult = (result: AppendResult, index: number): AppendResult =>
   result.kind === 'appended' ? { kind: 'appended', offset: result.offset + index } : result;
 
 const closeBatch = (
@@ -130,16 +133,16 @@
   if (batch === undefined) return { state, effects: [] };
   state.batches.delete(event.batchId);
   const replies = batch.appends.flatMap(({ payload }, index) =>
-    replyOwner(payload.owner, toOwnResult(event.result, index)),
+    replyOwner(payload.owner, toRecordResult(event.result, index)),
   );
   const step = commitDue(state, batch.stream, now);
   return { state: step.state, effects: [...replies, ...step.effects] };
 };
 
 /**
- * Creates the decisions of the `appends` child: group commits to the platform's log.
+ * Creates the decision logic of the `appends` child, which groups appends to the platform's log.
  *
- * @param now - current instant
+ * @param now - returns the current instant
  * @returns the child's logic
  */
 export const createAppendsLogic = (
--- a/packages/entry/platform/badRecords.test.ts
+++ b/packages/entry/platform/badRecords.test.ts
@@ -37,7 +37,7 @@
   at: 5,
 });
 
-/** Bodies that no version may apply, each with what the rejection must name. */
+/** Damaged bodies, each with a pattern that the rejection message must match. */
 const DAMAGED: readonly (readonly [unknown, RegExp])[] = [
   ['{"kind":"data-cen', /expected object|Invalid/],
   [null, /expected object|Invalid/],
@@ -73,7 +73,7 @@
 const BAD_CONTROL: readonly (readonly [unknown, RegExp])[] = [
   ...DAMAGED,
   [{ ...takeOut('later'), format: 2 }, /field "format": format 2 is unknown/],
-  // A later format may change any other field, and is still told as such.
+  // A later format may change every other field; the rejection must still name the format.
   [{ kind: 'later-kind', format: 2, more: 1 }, /field "format": format 2 is unknown/],
   [{ ...buildControl('move', 'm2', { ...MOVE, name: 'm2' }), format: 3 }, /format 3 is unknown/],
   [buildControl('move', 'm3', { ...MOVE, deadline: 0 }), /field "body.deadline"/],
@@ -87,7 +87,7 @@
 
 const GOOD_CONTROL = [takeOut('east'), buildControl('move', 'm', MOVE), takeOut('south')] as const;
 
-/** Good records before, between and after the bad ones. */
+/** Valid records before, between and after the invalid ones. */
 const CONTROL_BODIES: readonly unknown[] = [
   GOOD_CONTROL[0],
   ...BAD_CONTROL.map(([body]) => body),
@@ -96,9 +96,9 @@
   GOOD_CONTROL[2],
 ];
 
-// Guards against a bad record of the configuration or of a move that is applied, that hides the
-// records behind it, or that is dropped without a trace.
-test('the entry daemon applies every good control record around bad ones', (t) => {
+// Guards against an invalid control record that is applied, that blocks the records after it, or
+// that is dropped without a log line.
+test('the entry daemon applies every valid control record around invalid ones', (t) => {
   const step = CONTROL.decide(CONTROL.init().state, {
     to: 'control',
     kind: 'read-ended',
@@ -123,8 +123,9 @@
   t.true(step.effects.some(({ kind }) => kind === 'read-log'));
 });
 
-// Guards against an endpoint daemon that stays behind a bad record, or takes another view of it.
-test('the endpoint daemon takes over the same records from an entry daemon', (t) => {
+// Guards against an endpoint daemon that stops at an invalid record, or whose configuration differs
+// from that of its entry daemon.
+test('the endpoint daemon applies the same records as its entry daemon', (t) => {
   const read = { to: 'control', kind: 'read-ended', batch: toBatch(CONTROL_BODIES) } as const;
   const entry = CONTROL.decide(CONTROL.init().state, read).state;
   const delta = decideDelta(entry.configuration, 0);
@@ -149,9 +150,9 @@
   [{ ...buildIntent('x'), customer: undefined }, /field "customer"/],
 ];
 
-// Guards against a bad intent that starts a chain, and against a good one that is lost behind it:
-// the key of a lost intent would run twice.
-test('the entry daemon folds every good intent around bad ones', (t) => {
+// Guards against an invalid intent that starts a chain, and against a valid one that is lost after
+// it: a request under the key of a lost intent could run twice.
+test('the entry daemon folds every valid intent around invalid ones', (t) => {
   const logic = createIntentsLogic({
     now: () => 0,
     keys: { keyWindowMs: 1_000, maxUntimedKeys: 10, maxTimedKeys: 10 },
--- a/packages/entry/platform/constants.ts
+++ b/packages/entry/platform/constants.ts
@@ -1,40 +1,40 @@
-/** Period of reading the instance list; it lags by seconds anyway. */
+/** Interval at which the instance list is read; the list itself lags by seconds. */
 export const LIST_POLL_MS = 1_000;
 
-/** Longest time that the log holds a read without new records. */
+/** Maximum time that the log holds a long poll without new records. */
 export const READ_WAIT_MS = 1_000;
 
-/** Records asked for in one read. */
+/** Maximum number of records per read. */
 export const READ_LIMIT = 500;
 
-/** Pause after a failed read; with it a log outage costs two requests a second. */
+/** Delay after a failed read. During a log outage, each stream costs two requests per second. */
 export const READ_RETRY_MS = 500;
 
-/** Bounds of one group commit. The delay trades latency for appends, of which the log takes few. */
+/** Bounds of one group commit. The delay adds latency but saves appends, which the log limits. */
 export const COMMIT_MAX_RECORDS = 128;
 export const COMMIT_MAX_BYTES = 512 * 1_024;
 export const COMMIT_MAX_DELAY_MS = 2;
 
-/** Appends under way for one stream; a lost answer must not hold up the others. */
+/** Maximum appends in flight per stream; above 1, so that a lost answer doesn't block others. */
 export const MAX_APPENDS_IN_FLIGHT = 4;
 
-/** Appends that wait for a group commit; more are refused, which costs their requests a not-run. */
+/** Maximum pending appends per stream; further ones are refused and their requests not run. */
 export const MAX_PENDING_APPENDS = 4_096;
 
-/** Period of dropping expired keys and of carrying others forward. */
+/** Interval of dropping expired keys, carrying chains forward and checking for due snapshots. */
 export const UPKEEP_MS = 5_000;
 
-/** Age of a chain's newest record after which it is carried forward. */
+/** Age at which a chain is carried forward, measured at the oldest record that the chain needs. */
 export const CARRY_AFTER_MS = 3_600_000;
 
-/** Time limit of one request to the log, without the wait of a long poll. */
+/** Timeout of one request to the log, excluding the wait of a long poll. */
 export const LOG_TIMEOUT_MS = 2_000;
 
-/** Time limit of asking a peer for its configuration. */
+/** Timeout of reading a peer's configuration. */
 export const PEER_TIMEOUT_MS = 2_000;
 
-/** Age of the newest snapshot at which another is due, whatever the offsets. */
+/** Age of the latest snapshot at which the next one is due, whatever the offsets. */
 export const SNAPSHOT_MAX_AGE_MS = 3_600_000;
 
-/** Time limit of one read of the instance list. */
+/** Timeout of one read of the instance list. */
 export const LIST_TIMEOUT_MS = 2_000;
--- a/packages/entry/platform/control/control.ts
+++ b/packages/entry/platform/control/control.ts
@@ -28,24 +28,29 @@
   UPKEEP_MS,
 } from '../constants.js';
 
-/** Configuration that is in force here, and where it comes from. */
+/** Configuration in force in this daemon, with its source. */
 export interface ControlState {
   readonly configuration: ConfigurationState;
   readonly view: ConfigurationView;
-  /** `none` until the log or a peer gave the first state. */
+  /** Source of the configuration; `none` until the log or a peer has supplied one. */
   readonly source: 'none' | 'log' | 'peer';
+  /** `out` from a failed read of the log until the next successful one. */
   readonly log: 'up' | 'out';
   readonly read: 'running' | 'waiting';
+  /** Oldest offset that the log retains. */
   readonly firstOffset: Offset;
-  readonly snapshotAt: Offset | null;
-  readonly snapshotSeenAt: Millis;
+  /** Offset of the latest snapshot record, or null before the first. */
+  readonly snapshotOffset: Offset | null;
+  /** Instant at which that record was read, or at which the child started. */
+  readonly snapshotReadAt: Millis;
 }
 
+/** Dependencies of the `control` child. */
 export interface ControlInputs {
   readonly now: () => Millis;
   readonly createId: () => string;
   readonly process: string;
-  /** Addresses of other entry daemons. */
+  /** Lists the HTTP addresses of other entry daemons. */
   readonly listPeers: () => readonly string[];
   readonly choosePeer: (peers: readonly string[]) => string | undefined;
 }
@@ -59,7 +64,7 @@
   waitMs: state.source === 'log' ? READ_WAIT_MS : 0,
 });
 
-const logFold = (result: FoldResult, offset: Offset): readonly EntryEffect[] => {
+const logFoldResult = (result: FoldResult, offset: Offset): readonly EntryEffect[] => {
   const position = { stream: 'control', offset };
   switch (result.kind) {
     case 'in-force': {
@@ -97,7 +102,7 @@
   ];
 };
 
-const foldRaw = (
+const foldRawRecord = (
   state: ControlState,
   raw: RawRecord,
   now: Millis,
@@ -109,9 +114,9 @@
   const parsed = parseControlRecord(raw.body);
   const record = parsed.isOk() ? parsed.value : null;
   const fold = foldControlRecord(state.configuration, raw, record);
-  const snapshotAt = fold.result.kind === 'snapshot' ? raw.offset : state.snapshotAt;
-  const snapshotSeenAt = fold.result.kind === 'snapshot' ? now : state.snapshotSeenAt;
-  const next = { ...state, configuration: fold.state, snapshotAt, snapshotSeenAt };
+  const snapshotOffset = fold.result.kind === 'snapshot' ? raw.offset : state.snapshotOffset;
+  const snapshotReadAt = fold.result.kind === 'snapshot' ? now : state.snapshotReadAt;
+  const next = { ...state, configuration: fold.state, snapshotOffset, snapshotReadAt };
   if (record === null) {
     const message = parsed.isErr() ? parsed.error.message : '';
     const position = { stream: 'control', offset: raw.offset };
@@ -120,10 +125,10 @@
     return { state: next, folded: null, effects };
   }
   const folded = { nonce: record.nonce, offset: raw.offset, result: fold.result };
-  return { state: next, folded, effects: logFold(fold.result, raw.offset) };
+  return { state: next, folded, effects: logFoldResult(fold.result, raw.offset) };
 };
 
-const takeBatch = (state: ControlState, batch: LogBatch, now: Millis): ControlStep => {
+const applyBatch = (state: ControlState, batch: LogBatch, now: Millis): ControlStep => {
   const effects: EntryEffect[] = [];
   const folded: FoldedRecord[] = [];
   let next: ControlState = {
@@ -134,7 +139,7 @@
     firstOffset: batch.firstOffset,
   };
   for (const raw of batch.records) {
-    const step = foldRaw(next, raw, now);
+    const step = foldRawRecord(next, raw, now);
     next = step.state;
     effects.push(...step.effects);
     if (step.folded !== null) folded.push(step.folded);
@@ -144,11 +149,11 @@
   const source = isAtEnd ? 'log' : next.source;
   next = { ...next, configuration, source, view: buildView(configuration) };
   if (state.log === 'out') effects.push({ kind: 'log', name: 'log-available', details: {} });
-  const isNew = batch.records.length > 0 || state.source !== source;
+  const isChanged = batch.records.length > 0 || state.source !== source;
   return toStep(
     next,
     ...effects,
-    ...(isNew ? publishConfiguration(next, folded) : []),
+    ...(isChanged ? publishConfiguration(next, folded) : []),
     buildRead(next),
   );
 };
@@ -159,9 +164,13 @@
   return url === undefined ? [] : [{ kind: 'fetch-peer-configuration', url }];
 };
 
-const handleFailure = (state: ControlState, reason: string, inputs: ControlInputs): ControlStep => {
+const handleReadFailure = (
+  state: ControlState,
+  reason: string,
+  inputs: ControlInputs,
+): ControlStep => {
   const next: ControlState = { ...state, log: 'out', read: 'waiting' };
-  const again: EntryEffect = {
+  const nextRead: EntryEffect = {
     kind: 'schedule',
     delayMs: READ_RETRY_MS,
     event: { to: 'control', kind: 'read-due' },
@@ -171,13 +180,13 @@
     name: 'log-unavailable',
     details: { data: { stream: 'control', reason } },
   };
-  const asked = fetchFromPeer(next, inputs);
+  const peerFetch = fetchFromPeer(next, inputs);
   return state.log === 'out'
-    ? toStep(next, again, ...asked)
-    : toStep(next, again, logged, ...asked);
+    ? toStep(next, nextRead, ...peerFetch)
+    : toStep(next, nextRead, logged, ...peerFetch);
 };
 
-const takePeerState = (state: ControlState, json: unknown): ControlStep => {
+const applyPeerSnapshot = (state: ControlState, json: unknown): ControlStep => {
   const parsed = parseSnapshot(json);
   if (parsed.isErr()) {
     const details = { data: { message: parsed.error.message } };
@@ -197,24 +206,24 @@
 
 const appendSnapshot = (state: ControlState, inputs: ControlInputs): ControlStep => {
   const now = inputs.now();
-  const again: EntryEffect = {
+  const nextUpkeep: EntryEffect = {
     kind: 'schedule',
     delayMs: UPKEEP_MS,
     event: { to: 'control', kind: 'upkeep' },
   };
   const info = {
     firstOffset: state.firstOffset,
-    snapshotAt: state.snapshotAt,
-    snapshotAgeMs: now - state.snapshotSeenAt,
+    snapshotAt: state.snapshotOffset,
+    snapshotAgeMs: now - state.snapshotReadAt,
     maxAgeMs: SNAPSHOT_MAX_AGE_MS,
     now,
   };
   const record = planSnapshot(state.configuration, info, inputs.process, inputs.createId());
-  if (record === null || state.log === 'out') return toStep(state, again);
+  if (record === null || state.log === 'out') return toStep(state, nextUpkeep);
   const details = { data: { asOf: record.asOf, entities: record.entities.length } };
   return toStep(
     state,
-    again,
+    nextUpkeep,
     { kind: 'log', name: 'snapshot-appended', details },
     {
       kind: 'post',
@@ -232,17 +241,17 @@
 const decide = (state: ControlState, event: ControlEvent, inputs: ControlInputs): ControlStep => {
   switch (event.kind) {
     case 'read-ended':
-      return takeBatch(state, event.batch, inputs.now());
+      return applyBatch(state, event.batch, inputs.now());
     case 'read-failed':
-      return handleFailure(state, event.reason, inputs);
+      return handleReadFailure(state, event.reason, inputs);
     case 'read-due': {
       if (state.read === 'running') return toStep(state);
       const next: ControlState = { ...state, read: 'running' };
       return toStep(next, buildRead(next));
     }
     case 'peer-answered':
-      return takePeerState(state, event.snapshot);
-    // The next failed read asks another peer.
+      return applyPeerSnapshot(state, event.snapshot);
+    // The next failed read of the log tries another peer.
     case 'peer-failed':
       return toStep(state);
     case 'upkeep':
@@ -253,8 +262,8 @@
 };
 
 /**
- * Creates the decisions of the `control` child: the configuration in force, rebuilt from the log,
- * or from a peer while the log is out.
+ * Creates the decision logic of the `control` child. It maintains the configuration in force and
+ * rebuilds it from the log, or from a peer while the log is unavailable.
  *
  * @param inputs - clock, identity and peers
  * @returns the child's logic
@@ -271,8 +280,8 @@
       log: 'up',
       read: 'running',
       firstOffset: 0,
-      snapshotAt: null,
-      snapshotSeenAt: inputs.now(),
+      snapshotOffset: null,
+      snapshotReadAt: inputs.now(),
     };
     return toStep<ControlState, EntryEffect>(state, buildRead(state), {
       kind: 'schedule',
--- a/packages/entry/platform/intents/intents.ts
+++ b/packages/entry/platform/intents/intents.ts
@@ -22,14 +22,17 @@
   UPKEEP_MS,
 } from '../constants.js';
 
-/** Chains of the keys that run at most once, as far as the stream was read. */
+/** Intent chains of idempotency keys, folded from the part of the stream that was read. */
 export interface IntentsState {
   readonly table: IntentTable;
+  /** `out` from a failed read of the log until the next successful one. */
   readonly log: 'up' | 'out';
   readonly read: 'running' | 'waiting';
+  /** Oldest offset that the log retains. */
   readonly firstOffset: number;
 }
 
+/** Dependencies of the `intents` child. */
 export interface IntentsInputs {
   readonly now: () => Millis;
   readonly keys: KeySettings;
@@ -41,7 +44,7 @@
   kind: 'read-log',
   stream: 'intents',
   from: state.table.nextOffset,
-  // A daemon that catches up asks for what is there, and does not wait for more.
+  // A daemon that catches up reads the available records and doesn't wait for new ones.
   waitMs: state.table.standing === 'exact' ? READ_WAIT_MS : 0,
 });
 
@@ -51,7 +54,7 @@
   details: { position: { stream: 'intents', offset }, data: { message } },
 });
 
-const takeBatch = (state: IntentsState, batch: LogBatch, now: Millis): IntentsStep => {
+const applyBatch = (state: IntentsState, batch: LogBatch, now: Millis): IntentsStep => {
   const rejected: EntryEffect[] = [];
   const records: { offset: number; record: IntentStreamRecord }[] = [];
   for (const { offset, body } of batch.records) {
@@ -75,30 +78,30 @@
     read: 'running',
     firstOffset: batch.firstOffset,
   };
-  const back: readonly EntryEffect[] =
+  const recovered: readonly EntryEffect[] =
     state.log === 'up' ? [] : [{ kind: 'log', name: 'log-available', details: {} }];
   const folded: EntryEffect = { kind: 'post', event: { to: 'requests', kind: 'intents-folded' } };
-  return toStep(next, ...back, ...rejected, folded, buildRead(next));
+  return toStep(next, ...recovered, ...rejected, folded, buildRead(next));
 };
 
-const handleFailure = (state: IntentsState, reason: string): IntentsStep => {
+const handleReadFailure = (state: IntentsState, reason: string): IntentsStep => {
   const next: IntentsState = { ...state, log: 'out', read: 'waiting' };
-  const again: EntryEffect = {
+  const nextRead: EntryEffect = {
     kind: 'schedule',
     delayMs: READ_RETRY_MS,
     event: { to: 'intents', kind: 'read-due' },
   };
-  if (state.log === 'out') return toStep(next, again);
+  if (state.log === 'out') return toStep(next, nextRead);
   const logged: EntryEffect = {
     kind: 'log',
     name: 'log-unavailable',
     details: { data: { stream: 'intents', reason } },
   };
-  return toStep(next, again, logged);
+  return toStep(next, nextRead, logged);
 };
 
-const carryForward = (state: IntentsState, now: Millis): IntentsStep => {
-  const again: EntryEffect = {
+const runUpkeep = (state: IntentsState, now: Millis): IntentsStep => {
+  const nextUpkeep: EntryEffect = {
     kind: 'schedule',
     delayMs: UPKEEP_MS,
     event: { to: 'intents', kind: 'upkeep' },
@@ -122,14 +125,14 @@
       owner: { kind: 'own-record' },
     },
   }));
-  return toStep(state, again, ...appends);
+  return toStep(state, nextUpkeep, ...appends);
 };
 
 /**
- * Creates the decisions of the `intents` child. It reads the stream all the time; its state is
- * rebuilt from the log.
+ * Creates the decision logic of the `intents` child, which reads the stream continuously and
+ * rebuilds its state from the log after a restart.
  *
- * @param inputs - clock and kept window of the keys
+ * @param inputs - clock, key window and bounds on the number of keys
  * @returns the child's logic
  */
 export const createIntentsLogic = (
@@ -151,17 +154,17 @@
   decide: (state, event): IntentsStep => {
     switch (event.kind) {
       case 'read-ended':
-        return takeBatch(state, event.batch, inputs.now());
+        return applyBatch(state, event.batch, inputs.now());
       case 'read-failed':
-        return handleFailure(state, event.reason);
+        return handleReadFailure(state, event.reason);
       case 'read-due': {
-        // A running read returns as soon as records arrive, so a second one would add nothing.
+        // A running read returns as soon as records arrive, so a second one is not needed.
         if (state.read === 'running') return toStep(state);
         const next: IntentsState = { ...state, read: 'running' };
         return toStep(next, buildRead(next));
       }
       case 'upkeep':
-        return carryForward(state, inputs.now());
+        return runUpkeep(state, inputs.now());
       default:
         return assertNever(event);
     }
--- a/packages/entry/platform/list/list.ts
+++ b/packages/entry/platform/list/list.ts
@@ -6,16 +6,18 @@
 import type { ListedInstance } from '../../types.js';
 import { LIST_POLL_MS } from '../constants.js';
 
-/** What the platform's instance list says. */
+/** Instance list as it was last read from the platform. */
 export interface ListState {
   readonly instances: readonly ListedInstance[];
+  /** Result of the latest read, if there was one. */
   readonly list: 'unread' | 'up' | 'out';
+  /** State of the instance of this process. */
   readonly self: 'live' | 'leaving' | 'absent';
 }
 
 type ListStep = Step<ListState, EntryEffect>;
 
-const AGAIN: EntryEffect = {
+const NEXT_POLL: EntryEffect = {
   kind: 'schedule',
   delayMs: LIST_POLL_MS,
   event: { to: 'list', kind: 'poll' },
@@ -32,18 +34,18 @@
     kind: 'post',
     event: { to: 'membership', kind: 'list-updated', instances },
   };
-  if (self !== 'leaving' || state.self === 'leaving') return toStep(next, AGAIN, updated);
+  if (self !== 'leaving' || state.self === 'leaving') return toStep(next, NEXT_POLL, updated);
   const reason = 'the instance list shows this instance as leaving';
-  return toStep(next, AGAIN, updated, {
+  return toStep(next, NEXT_POLL, updated, {
     kind: 'post',
     event: { to: 'frontend', kind: 'drain-started', reason },
   });
 };
 
 /**
- * Creates the decisions of the `list` child.
+ * Creates the decision logic of the `list` child, which polls the instance list.
  *
- * @param instance - instance of this process
+ * @param instance - id of the instance of this process
  * @returns the child's logic
  */
 export const createListLogic = (
@@ -61,9 +63,9 @@
       case 'list-received':
         return applyList(state, event.instances, instance);
       case 'list-failed': {
-        if (state.list === 'out') return toStep(state, AGAIN);
+        if (state.list === 'out') return toStep(state, NEXT_POLL);
         const next: ListState = { ...state, list: 'out' };
-        return toStep(next, AGAIN, {
+        return toStep(next, NEXT_POLL, {
           kind: 'log',
           name: 'list-unavailable',
           details: { data: { reason: event.reason } },
--- a/packages/entry/platform/platformAdapter.ts
+++ b/packages/entry/platform/platformAdapter.ts
@@ -5,7 +5,7 @@
 import type { ListClient, LogClient } from '../../platform/client/types.js';
 import type { EntryEvent, LogStream } from '../events.js';
 
-/** Adapter between the loop and the platform. */
+/** Adapter between the loop, the platform and peers. */
 export interface PlatformAdapter {
   readonly fetchList: () => void;
   readonly readLog: (stream: LogStream, from: Offset, waitMs: Millis) => void;
@@ -15,11 +15,11 @@
 }
 
 /**
- * Creates the adapter to the platform. Each completion is posted as an event.
+ * Creates the adapter to the platform, which posts the result of each request as an event.
  *
  * @param log - client of the log
  * @param list - client of the instance list
- * @param post - receives the completions
+ * @param post - posts an event to the loop
  * @returns the adapter
  */
 export const createPlatformAdapter = (
--- a/packages/entry/platform/supervisor.ts
+++ b/packages/entry/platform/supervisor.ts
@@ -13,7 +13,7 @@
   ListEvent,
 } from '../events.js';
 
-/** Published states of the platform node's children. */
+/** Latest states of the children of the `platform` supervisor. */
 export interface PlatformStates {
   list: ListState;
   appends: AppendsState;
@@ -21,7 +21,7 @@
   control: ControlState;
 }
 
-/** Decisions of the platform node's children. */
+/** Decision logic of the children of the `platform` supervisor. */
 export interface PlatformLogics {
   readonly list: ChildLogic<ListState, ListEvent, EntryEffect>;
   readonly appends: ChildLogic<AppendsState, AppendsEvent, EntryEffect>;
@@ -30,9 +30,9 @@
 }
 
 /**
- * Describes the supervisor of what the daemon shares with the platform.
+ * Describes the supervisor of the children that read from and append to the platform.
  *
- * @param logics - decisions of the children
+ * @param logics - decision logic of the children
  * @param states - receives each new state
  * @returns the supervisor's specification
  */
