Reword the membership of the entry daemon

takeHeartbeat, takeList and the bare 'starts' were unclear; they are applyHeartbeat, applyInstanceList and engineStarts. Comments speak of received heartbeats and stale state, and the refusal of an older heartbeat says that a newer one was received.

--- a/packages/entry/membership/constants.ts
+++ b/packages/entry/membership/constants.ts
@@ -1,5 +1,5 @@
-/** Period of looking for endpoints that have gone silent. */
+/** Interval of the checks for endpoints whose heartbeats have stopped. */
 export const TICK_MS = 250;
 
-/** Lateness of a tick above which the process counts as paused. */
-export const PAUSE_MS = 1_000;
+/** Delay of a tick from which this process counts as paused. */
+export const PAUSE_THRESHOLD_MS = 1_000;
--- a/packages/entry/membership/heartbeatServer.ts
+++ b/packages/entry/membership/heartbeatServer.ts
@@ -14,14 +14,16 @@
 import { createRpcListener } from '../../wire/rpcListener.js';
 import type { HeartbeatReply, ReceivedHeartbeat } from '../types.js';
 
+/** RPC server that receives the heartbeats of endpoint daemons. */
 export interface HeartbeatServer {
-  /** Answers a heartbeat; null refuses one that was out of order. */
+  /** Answers a heartbeat; null refuses one that is older than the latest. */
   readonly replyHeartbeat: (heartbeatId: string, reply: HeartbeatReply | null) => void;
+  /** Starts listening and returns the address. */
   readonly listen: (host: string, port: number) => Promise<string>;
   readonly close: () => Promise<void>;
 }
 
-interface Waiting {
+interface PendingHeartbeat {
   readonly resolve: (response: HeartbeatResponse) => void;
   readonly reject: (error: ConnectError) => void;
 }
@@ -72,13 +74,13 @@
 /**
  * Creates the server of `EntryService`.
  *
- * @param post - queues a heartbeat; `shed` when the queue is full
+ * @param post - queues a heartbeat; returns `shed` when the queue is full
  * @returns the server, not yet listening
  */
 export const createHeartbeatServer = (
   post: (heartbeatId: string, heartbeat: ReceivedHeartbeat) => 'queued' | 'shed',
 ): HeartbeatServer => {
-  const waiting = new Map<string, Waiting>();
+  const pendingHeartbeats = new Map<string, PendingHeartbeat>();
 
   const handleHeartbeat = (message: HeartbeatRequest): Promise<HeartbeatResponse> => {
     if (message.format !== MESSAGE_FORMAT) {
@@ -87,9 +89,9 @@
     }
     const heartbeatId = createId();
     return new Promise((resolve, reject) => {
-      waiting.set(heartbeatId, { resolve, reject });
+      pendingHeartbeats.set(heartbeatId, { resolve, reject });
       if (post(heartbeatId, decodeHeartbeat(message)) === 'queued') return;
-      waiting.delete(heartbeatId);
+      pendingHeartbeats.delete(heartbeatId);
       reject(new ConnectError('the event queue is full', Code.ResourceExhausted));
     });
   };
@@ -102,10 +104,10 @@
 
   return {
     replyHeartbeat: (heartbeatId, reply) => {
-      const caller = waiting.get(heartbeatId);
-      waiting.delete(heartbeatId);
+      const caller = pendingHeartbeats.get(heartbeatId);
+      pendingHeartbeats.delete(heartbeatId);
       if (reply !== null) caller?.resolve(encodeReply(reply));
-      else caller?.reject(new ConnectError('a newer heartbeat is known', Code.Aborted));
+      else caller?.reject(new ConnectError('a newer heartbeat was received', Code.Aborted));
     },
     listen: listener.listen,
     close: listener.close,
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -1,4 +1,4 @@
-import { PAUSE_MS, TICK_MS } from './constants.js';
+import { PAUSE_THRESHOLD_MS, TICK_MS } from './constants.js';
 import type { MembershipState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -22,9 +22,10 @@
 import type { EntryEffect, MembershipEvent } from '../events.js';
 import type { HeartbeatReply, ListedInstance, ReceivedHeartbeat } from '../types.js';
 
+/** Dependencies of the membership decisions. */
 export interface MembershipInputs {
   readonly now: () => Millis;
-  /** Part of the configuration that an endpoint daemon at this offset still needs. */
+  /** Returns the configuration changes that an endpoint daemon at this offset lacks. */
   readonly getDelta: (offset: Offset) => Pick<HeartbeatReply, 'watermark' | 'records' | 'snapshot'>;
 }
 
@@ -67,13 +68,13 @@
   },
 });
 
-const buildLost = (
+const buildEndpointLost = (
   state: MembershipState,
   endpoint: EndpointId,
   incarnation: string,
 ): EntryEffect => {
-  const engineStart = state.starts.get(incarnation) ?? '';
-  state.starts.delete(incarnation);
+  const engineStart = state.engineStarts.get(incarnation) ?? '';
+  state.engineStarts.delete(incarnation);
   return {
     kind: 'post',
     event: { to: 'requests', kind: 'endpoint-lost', endpoint, incarnation, engineStart },
@@ -87,10 +88,10 @@
   switch (effect.kind) {
     case 'phase-changed':
       return effect.to === 'gone' && effect.incarnation !== null
-        ? [logPhase(effect), buildLost(state, effect.endpoint, effect.incarnation)]
+        ? [logPhase(effect), buildEndpointLost(state, effect.endpoint, effect.incarnation)]
         : [logPhase(effect)];
     case 'incarnation-replaced':
-      return [buildLost(state, effect.endpoint, effect.older)];
+      return [buildEndpointLost(state, effect.endpoint, effect.older)];
     case 'heartbeat-ignored':
       return [
         {
@@ -102,7 +103,7 @@
     case 'forgotten':
       state.views.delete(effect.endpoint);
       return [];
-    // Heartbeats are answered where they arrive, since the answer carries more than the lease.
+    // `applyHeartbeat` sends the answer, because it carries configuration besides the lease.
     case 'acknowledge':
       return [];
     default:
@@ -110,7 +111,7 @@
   }
 };
 
-const applyTable = (
+const applyTableEvent = (
   state: MembershipState,
   event: TableEvent<ReceivedHeartbeat>,
 ): MembershipStep => {
@@ -119,7 +120,7 @@
   return toStep({ ...state, table: step.state }, ...effects);
 };
 
-const takeHeartbeat = (
+const applyHeartbeat = (
   state: MembershipState,
   event: Extract<MembershipEvent, { readonly kind: 'heartbeat-received' }>,
   inputs: MembershipInputs,
@@ -129,10 +130,10 @@
   const { endpoint, dataCentre, incarnation, sequence } = heartbeat;
   const phase = PHASES.find((known) => known === heartbeat.phase) ?? 'starting';
   const known = state.table.endpoints.get(endpoint)?.newest?.incarnation;
-  const taken = { endpoint, dataCentre, incarnation, sequence, phase, report: heartbeat };
-  const step = applyTable(state, { kind: 'heartbeat', heartbeat: taken, now });
-  const isTaken = step.state.table.endpoints.get(endpoint)?.newest === taken;
-  if (!isTaken) {
+  const reported = { endpoint, dataCentre, incarnation, sequence, phase, report: heartbeat };
+  const step = applyTableEvent(state, { kind: 'heartbeat', heartbeat: reported, now });
+  const isApplied = step.state.table.endpoints.get(endpoint)?.newest === reported;
+  if (!isApplied) {
     return toStep(step.state, ...step.effects, {
       kind: 'reply-heartbeat',
       heartbeatId,
@@ -140,7 +141,7 @@
     });
   }
   state.views.set(endpoint, toView(heartbeat));
-  state.starts.set(incarnation, heartbeat.engineStart);
+  state.engineStarts.set(incarnation, heartbeat.engineStart);
   const joined: readonly EntryEffect[] =
     known === incarnation
       ? []
@@ -167,7 +168,7 @@
   );
 };
 
-const takeList = (
+const applyInstanceList = (
   state: MembershipState,
   instances: readonly ListedInstance[],
   now: Millis,
@@ -177,38 +178,38 @@
       newest === null ? [] : [[newest.report.instance, endpoint] as const],
     ),
   );
-  // The list names instances; an instance without a heartbeat has no endpoint to propose yet.
-  const listed = instances.flatMap(({ id, dataCentre, state: standing }) => {
+  // The list contains instances, whose endpoints are unknown before their first heartbeat.
+  const listed = instances.flatMap(({ id, dataCentre, state: listedState }) => {
     const endpoint = endpoints.get(id);
-    return endpoint === undefined ? [] : [{ endpoint, dataCentre, state: standing }];
+    return endpoint === undefined ? [] : [{ endpoint, dataCentre, state: listedState }];
   });
   const peers = instances.filter(({ role }) => role === 'entry');
-  return applyTable({ ...state, peers }, { kind: 'instance-list', instances: listed, now });
+  return applyTableEvent({ ...state, peers }, { kind: 'instance-list', instances: listed, now });
 };
 
-/** A late tick means that this process was paused: what it knew of others is old. */
+/** Applies a tick. A late tick means that this process was paused, so its state may be stale. */
 const handleTick = (state: MembershipState, now: Millis): MembershipStep => {
-  const again: EntryEffect = {
+  const nextTick: EntryEffect = {
     kind: 'schedule',
     delayMs: TICK_MS,
     event: { to: 'membership', kind: 'tick' },
   };
   const lateness = now - state.lastTickAt - TICK_MS;
   const next = { ...state, lastTickAt: now };
-  if (lateness < PAUSE_MS) {
-    const step = applyTable(next, { kind: 'tick', now });
-    return toStep(step.state, ...step.effects, again);
+  if (lateness < PAUSE_THRESHOLD_MS) {
+    const step = applyTableEvent(next, { kind: 'tick', now });
+    return toStep(step.state, ...step.effects, nextTick);
   }
-  const step = applyTable(next, { kind: 'own-pause', now });
+  const step = applyTableEvent(next, { kind: 'own-pause', now });
   const logged: EntryEffect = {
     kind: 'log',
     name: 'pause-detected',
     details: { data: { pausedMs: Math.round(lateness) } },
   };
-  return toStep(step.state, logged, ...step.effects, again);
+  return toStep(step.state, logged, ...step.effects, nextTick);
 };
 
-const toPhase = (eligibility: Eligibility, reported: EndpointPhase): EndpointPhase => {
+const toPlacementPhase = (eligibility: Eligibility, reported: EndpointPhase): EndpointPhase => {
   switch (eligibility) {
     case 'eligible':
       return reported;
@@ -227,15 +228,15 @@
 };
 
 /**
- * Lists the endpoints with their phase at this instant.
+ * Lists the endpoints with their current phase.
  *
- * @param state - membership
+ * @param state - state of the `membership` child
  * @param now - current instant
  * @returns views for placement
  */
 export const listViews = (state: MembershipState, now: Millis): readonly EndpointView[] =>
   [...state.views.values()].map((view) => {
-    const phase = toPhase(checkEligibility(state.table, view.endpoint, now), view.phase);
+    const phase = toPlacementPhase(checkEligibility(state.table, view.endpoint, now), view.phase);
     return phase === view.phase ? view : { ...view, phase };
   });
 
@@ -246,12 +247,12 @@
 ): MembershipStep => {
   switch (event.kind) {
     case 'heartbeat-received':
-      return takeHeartbeat(state, event, inputs);
+      return applyHeartbeat(state, event, inputs);
     case 'list-updated':
-      return takeList(state, event.instances, inputs.now());
+      return applyInstanceList(state, event.instances, inputs.now());
     case 'configuration-updated': {
       const { dataCentresOut, offset } = event;
-      return applyTable(state, { kind: 'configuration', dataCentresOut, offset });
+      return applyTableEvent(state, { kind: 'configuration', dataCentresOut, offset });
     }
     case 'tick':
       return handleTick(state, inputs.now());
@@ -261,9 +262,9 @@
 };
 
 /**
- * Creates the decisions of the `membership` child.
+ * Creates the decision logic of the `membership` child.
  *
- * @param inputs - clock and configuration
+ * @param inputs - clock and access to the configuration
  * @returns the child's logic
  */
 export const createMembershipLogic = (
@@ -274,7 +275,7 @@
       {
         table: initMembership<ReceivedHeartbeat>(),
         views: new Map(),
-        starts: new Map(),
+        engineStarts: new Map(),
         peers: [],
         lastTickAt: inputs.now(),
       },
--- a/packages/entry/membership/types.ts
+++ b/packages/entry/membership/types.ts
@@ -4,16 +4,17 @@
 import type { EndpointView } from '../../decisions/placement/types.js';
 import type { ListedInstance, ReceivedHeartbeat } from '../types.js';
 
-/** Endpoints that this daemon knows, from heartbeats and from the instance list. */
+/** Endpoints that this daemon knows from heartbeats and the instance list. */
 export interface MembershipState {
   readonly table: EndpointTable<ReceivedHeartbeat>;
   /**
-   * What placement sees of each endpoint, built once for each heartbeat. Updated in place: at 512
-   * endpoints a thousand heartbeats a second arrive.
+   * Input of placement for each endpoint, built once per heartbeat. The map is updated in place,
+   * because 512 endpoints send a thousand heartbeats per second.
    */
   readonly views: Map<EndpointId, EndpointView>;
-  /** Start identity of the engine behind each incarnation of an endpoint daemon. */
-  readonly starts: Map<Incarnation, string>;
+  /** Start identity of the engine or service, by the incarnation of its endpoint daemon. */
+  readonly engineStarts: Map<Incarnation, string>;
+  /** Listed instances of entry daemons. */
   readonly peers: readonly ListedInstance[];
   readonly lastTickAt: Millis;
 }
