Reword the moves of the entry daemon

'an earlier life', 'saw coming' and 'on trial' are incarnation, knew before its end, and new version. notifyOfEnd and takeEvidence are named after what they handle. The test titles state the fallback, which is only for the new version, and the terminal record of a restarted move.

--- a/packages/entry/moves/constants.ts
+++ b/packages/entry/moves/constants.ts
@@ -1,2 +1,2 @@
-/** Period in which shares follow time and evidence. */
+/** Interval at which shares are updated from time and evidence. */
 export const TICK_MS = 250;
--- a/packages/entry/moves/moveNotices.ts
+++ b/packages/entry/moves/moveNotices.ts
@@ -4,16 +4,18 @@
 import type { EndedMove, NoticeEffect, NoticeEvent } from '../../decisions/moves/noticeTypes.js';
 import type { EntryEffect } from '../events.js';
 
+/** Dependencies of the notices of moves. */
 export interface NoticeInputs {
   readonly now: () => number;
   readonly createId: () => string;
   readonly process: string;
-  /** Without an address nothing is sent, and nothing may be recorded as sent. */
+  /** With `none`, no notice is sent and none may be recorded as sent. */
   readonly webhook: 'set' | 'none';
-  /** Hash of a text to an unsigned number of 32 bits. */
+  /** Hashes a string to an unsigned 32-bit integer. */
   readonly hash: (text: string) => number;
 }
 
+/** Number of values of `hash`. */
 const HASH_VALUES = 2 ** 32;
 
 const toEndedMove = (view: MoveView): EndedMove | null => {
@@ -23,12 +25,12 @@
 };
 
 /**
- * Translates the log's view of a move into an event of its notice.
+ * Derives the event for the notice of a move.
  *
- * @param view - move as the log shows it
+ * @param view - move in the configuration
  * @param role - whether this process appended the terminal record
- * @param inputs - clock and identity
- * @returns the event, or null for a move that has not ended
+ * @param inputs - clock, identity and webhook
+ * @returns the event, or null when the move has not ended or no webhook is set
  */
 export const toNoticeEvent = (
   view: MoveView,
@@ -43,11 +45,11 @@
 };
 
 /**
- * Carries out one effect of a notice.
+ * Translates one effect of a notice into effects of the daemon.
  *
  * @param effect - effect of the decision
- * @param inputs - clock and identity
- * @returns effects of the daemon
+ * @param inputs - clock, identity and webhook
+ * @returns the effects of the daemon
  */
 export const buildNoticeEffects = (
   effect: NoticeEffect,
--- a/packages/entry/moves/moves.test.ts
+++ b/packages/entry/moves/moves.test.ts
@@ -26,7 +26,7 @@
   deadline: NOW + HOUR_MS,
 };
 
-/** Configuration in which the move was taken back once and started again at offset 2. */
+/** Builds a configuration whose move was taken back once and started again at offset 2. */
 const foldRestarted = () =>
   [
     toRecord('move', null, MOVE),
@@ -98,7 +98,8 @@
   return { configuration, chosen, end: findEnd(effects) };
 };
 
-// Guards against a move that was started again under its name and that no daemon can end.
+// Guards against a restarted move that no daemon can end, because its terminal record is based on
+// the offset of an earlier start.
 test('a daemon ends a move that was started again after its first end', (t) => {
   const { configuration, end } = watchFaults();
   t.like(end, { kind: 'move-ended', body: { outcome: 'taken-back' } });
@@ -107,9 +108,9 @@
   t.is(folded.result.kind, 'in-force');
 });
 
-// Guards against callers who wait for a version that has no endpoint, and against a version on
-// trial that gets more than its share when the old one has none.
-test('only the new version has another one to fall back on', (t) => {
+// Guards against requests that wait for a new version without endpoints, and against a new version
+// that gets more than its share when the old one has no endpoint.
+test('only the new version has a fallback', (t) => {
   t.deepEqual(watchFaults().chosen, { version: 'v2', otherwise: 'v1' });
   const logic = createMovesLogic({
     now: () => NOW,
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -21,45 +21,50 @@
 import type { EntryEffect, MovesEvent } from '../events.js';
 import type { ReceivedHeartbeat, VersionChoice } from '../types.js';
 
-/** One move with its place in the log. */
+/** Move in the configuration together with the state of its decisions. */
 export interface WatchedMove {
   readonly view: MoveView;
   readonly state: MoveState;
-  /** Why it was stopped or waits for an operator. */
+  /** Reason for which the move was stopped or needs an operator; empty otherwise. */
   readonly reason: string;
 }
 
-/** Version moves by name. */
+/** Version moves by name, and notices of moves that have ended. */
 export interface MovesState {
   readonly moves: ReadonlyMap<string, WatchedMove>;
   readonly notices: NoticeState;
 }
 
+/** Dependencies of the decisions on moves. */
 export interface MovesInputs extends NoticeInputs {
   readonly listMoves: () => readonly MoveView[];
 }
 
 type MovesStep = Step<MovesState, EntryEffect>;
 
-/** Route of all generations; a fault on one route of a service does not show in the others. */
+/**
+ * Route of all generations. Services have several routes, because a fault on one does not show on
+ * the others.
+ */
 export const CHAT_ROUTE = 'chat';
 
 const describeFinding = (finding: FaultFinding): string => {
-  const place =
+  const scope =
     finding.cell === null
       ? 'over all classes and routes'
       : `class ${finding.cell.className}, data centre ${finding.cell.dataCentre}, route ${finding.cell.route}`;
-  return `${finding.metric} answers of the new version, ${place}`;
+  return `${finding.metric} answers of the new version, ${scope}`;
 };
 
-const notify = (
+const buildOperatorNotice = (
   event: 'move-needs-operator' | 'move-stopped-locally',
   view: MoveView,
   detail: string,
   now: Millis,
 ): readonly EntryEffect[] => {
   const { name: entity, offset } = view;
-  // Each daemon judges by its own evidence, so each one tells; the id is the same for all of them.
+  // Each daemon has its own evidence and may send this notice; they share the id, so that the
+  // receiver can drop duplicates.
   const id = `${event}/${entity}/${offset.toString()}`;
   return [
     { kind: 'log', name: event, details: { entity, data: { reason: detail } } },
@@ -67,7 +72,7 @@
   ];
 };
 
-const appendEnded = (
+const buildEndRecordAppend = (
   move: WatchedMove,
   effect: Extract<MoveEffect, { readonly kind: 'append-ended' }>,
   inputs: MovesInputs,
@@ -105,11 +110,16 @@
       return [{ kind: 'log', name: 'move-share-changed', details }];
     }
     case 'append-ended':
-      return [appendEnded(move, effect, inputs)];
+      return [buildEndRecordAppend(move, effect, inputs)];
     case 'stopped':
-      return notify('move-stopped-locally', move.view, describeFinding(effect.finding), now);
+      return buildOperatorNotice(
+        'move-stopped-locally',
+        move.view,
+        describeFinding(effect.finding),
+        now,
+      );
     case 'needs-operator':
-      return notify('move-needs-operator', move.view, effect.reason, now);
+      return buildOperatorNotice('move-needs-operator', move.view, effect.reason, now);
     case 'ended': {
       const event = effect.outcome === 'done' ? 'move-done' : 'move-taken-back';
       const reason = move.view.ended?.reason ?? '';
@@ -140,7 +150,7 @@
   return toStep({ ...state, moves }, ...effects);
 };
 
-const applyAll = (
+const applyToAllMoves = (
   state: MovesState,
   select: (move: WatchedMove) => MoveEvent | null,
   inputs: MovesInputs,
@@ -155,7 +165,7 @@
   return step;
 };
 
-/** A move whose record changed its offset was started again under its name. */
+/** Adds a move or updates a known one. A new offset means that the move was started again. */
 const registerMove = (state: MovesState, view: MoveView, inputs: MovesInputs): MovesStep => {
   const known = state.moves.get(view.name);
   const now = inputs.now();
@@ -179,18 +189,19 @@
 };
 
 /**
- * A process that starts finds ends that it appended in an earlier life, and may be about to read
- * that their notices were sent; only an end that it saw coming counts as its own.
+ * Returns the role of this process in the notice of an ended move. After a restart, the process
+ * reads ends that its earlier incarnation appended and whose notices may already be sent. So it is
+ * the author only if this incarnation knew the move before its end.
  */
-const toRole = (known: WatchedMove | undefined, view: MoveView, process: string) =>
+const toNoticeRole = (known: WatchedMove | undefined, view: MoveView, process: string) =>
   known?.view.offset === view.offset && known.view.ended === null && view.ended?.author === process
     ? 'author'
     : 'other';
 
-const takeNotices = (before: MovesState, state: MovesState, inputs: MovesInputs): MovesStep => {
+const updateNotices = (before: MovesState, state: MovesState, inputs: MovesInputs): MovesStep => {
   let step: MovesStep = toStep(state);
   for (const view of inputs.listMoves()) {
-    const role = toRole(before.moves.get(view.name), view, inputs.process);
+    const role = toNoticeRole(before.moves.get(view.name), view, inputs.process);
     const event = toNoticeEvent(view, role, inputs);
     if (event === null) continue;
     const next = applyNotice(step.state, event, inputs);
@@ -199,20 +210,20 @@
   return step;
 };
 
-/** An operator's record came through this daemon, so the notice of it is this daemon's as well. */
-const notifyOfEnd = (state: MovesState, name: string, inputs: MovesInputs): MovesStep => {
+/** Makes this daemon the sender of the notice for an end that an operator posted through it. */
+const handleEndAccepted = (state: MovesState, name: string, inputs: MovesInputs): MovesStep => {
   const view = inputs.listMoves().find((move) => move.name === name);
   const event = view === undefined ? null : toNoticeEvent(view, 'author', inputs);
   return event === null ? toStep(state) : applyNotice(state, event, inputs);
 };
 
-const takeConfiguration = (state: MovesState, inputs: MovesInputs): MovesStep => {
+const applyConfiguration = (state: MovesState, inputs: MovesInputs): MovesStep => {
   let step: MovesStep = toStep(state);
   for (const view of inputs.listMoves()) {
     const next = registerMove(step.state, view, inputs);
     step = { state: next.state, effects: [...step.effects, ...next.effects] };
   }
-  const ended = applyAll(
+  const ended = applyToAllMoves(
     step.state,
     ({ view }) =>
       view.ended === null
@@ -225,14 +236,14 @@
           },
     inputs,
   );
-  const noticed = takeNotices(state, ended.state, inputs);
+  const noticed = updateNotices(state, ended.state, inputs);
   return {
     state: noticed.state,
     effects: [...step.effects, ...ended.effects, ...noticed.effects],
   };
 };
 
-const takeEvidence = (
+const applyEvidence = (
   state: MovesState,
   heartbeat: ReceivedHeartbeat,
   inputs: MovesInputs,
@@ -240,7 +251,7 @@
   const { endpoint, incarnation, dataCentre, version, evidence } = heartbeat;
   const report = { endpoint, incarnation, dataCentre, version, counts: evidence };
   const now = inputs.now();
-  return applyAll(
+  return applyToAllMoves(
     state,
     ({ view }) =>
       view.ended === null && view.model === heartbeat.model
@@ -251,13 +262,13 @@
 };
 
 /**
- * Chooses the version of a model for a request. The newest move of the model counts.
+ * Chooses the version of a model for a request according to the newest move of the model.
  *
- * @param state - moves
+ * @param state - state of the `moves` child
  * @param model - model of the request
- * @param requestId - request, whose hash decides within the share
- * @param hash - hash of a text to an unsigned number of 32 bits
- * @returns the version, or null when no move names the model
+ * @param requestId - id of the request, whose hash is compared with the share
+ * @param hash - hashes a string to an unsigned 32-bit integer
+ * @returns the version, or null when the model has no move
  */
 export const chooseMoveVersion = (
   state: MovesState,
@@ -273,15 +284,15 @@
   if (newest === undefined) return null;
   const side = chooseVersion(getNewVersionShare(newest.state, CHAT_ROUTE), hash(requestId));
   const { from, to } = newest.view;
-  // The reverse would give a version on trial more than its share.
+  // A fallback from the old to the new version would give the new one more than its share.
   return side === 'new' ? { version: to, otherwise: from } : { version: from, otherwise: null };
 };
 
 /**
- * Creates the decisions of the `moves` child. Its evidence comes from heartbeats, its records from
- * the configuration.
+ * Creates the decision logic of the `moves` child, which evaluates the moves of the configuration
+ * by the evidence in heartbeats.
  *
- * @param inputs - clock, identity and moves of the configuration
+ * @param inputs - clock, identity, webhook and moves of the configuration
  * @returns the child's logic
  */
 export const createMovesLogic = (
@@ -296,21 +307,21 @@
   decide: (state, event) => {
     switch (event.kind) {
       case 'configuration-updated':
-        return takeConfiguration(state, inputs);
+        return applyConfiguration(state, inputs);
       case 'evidence-received':
-        return takeEvidence(state, event.heartbeat, inputs);
+        return applyEvidence(state, event.heartbeat, inputs);
       case 'end-accepted':
-        return notifyOfEnd(state, event.name, inputs);
+        return handleEndAccepted(state, event.name, inputs);
       case 'notice-ended': {
         const { id, result } = event;
         return applyNotice(state, { kind: result, id, now: inputs.now() }, inputs);
       }
       case 'tick': {
         const now = inputs.now();
-        const step = applyAll(state, () => ({ kind: 'tick', now }), inputs);
+        const step = applyToAllMoves(state, () => ({ kind: 'tick', now }), inputs);
         const noticed = applyNotice(step.state, { kind: 'tick', now }, inputs);
-        const again: EntryEffect = { kind: 'schedule', delayMs: TICK_MS, event };
-        return toStep(noticed.state, ...step.effects, ...noticed.effects, again);
+        const nextTick: EntryEffect = { kind: 'schedule', delayMs: TICK_MS, event };
+        return toStep(noticed.state, ...step.effects, ...noticed.effects, nextTick);
       }
       default:
         return assertNever(event);
