Reword the operator interface of the entry daemon

A record 'counts' or 'is open' was unclear: the comments say that a record is read back from the log and that its outcome is unknown after a timeout. A lost race and a record without its base are worded as such in messages. waiting and settleFold are pendingReplies and buildFoldEffects.

--- a/packages/entry/operator/operator.ts
+++ b/packages/entry/operator/operator.ts
@@ -16,24 +16,26 @@
 import type { AppendResult } from '../../decisions/idempotency/types.js';
 import type { EntryEffect, OperatorEvent, OperatorOutcome } from '../events.js';
 
+/** Appended record whose outcome is not known yet. */
 export interface PendingRecord {
   readonly kind: string;
   readonly entity: string;
   readonly author: string;
 }
 
-/** Records of operators that wait until they are read back from the log. */
+/** Records of operators that have not been read back from the log, by operation id. */
 export interface OperatorState {
   readonly pending: ReadonlyMap<string, PendingRecord>;
 }
 
+/** Dependencies of the decisions on operators' records. */
 export interface OperatorInputs {
   readonly getConfiguration: () => ConfigurationState;
 }
 
 type OperatorStep = Step<OperatorState, EntryEffect>;
 
-const replyWith = (operationId: string, outcome: OperatorOutcome): EntryEffect => ({
+const buildReply = (operationId: string, outcome: OperatorOutcome): EntryEffect => ({
   kind: 'reply-operator',
   operationId,
   outcome,
@@ -53,13 +55,20 @@
 ): OperatorStep =>
   toStep(
     state,
-    replyWith(operationId, { kind: 'failed', failure }),
+    buildReply(operationId, { kind: 'failed', failure }),
     logRefusal(author, failure.message),
   );
 
-const replyLost = (operationId: string, author: string, winner: Winner): readonly EntryEffect[] => [
-  replyWith(operationId, { kind: 'lost', winner }),
-  logRefusal(author, `lost against offset ${winner.offset.toString()} by ${winner.author}`),
+const buildLostReply = (
+  operationId: string,
+  author: string,
+  winner: Winner,
+): readonly EntryEffect[] => [
+  buildReply(operationId, { kind: 'lost', winner }),
+  logRefusal(
+    author,
+    `lost the race against offset ${winner.offset.toString()} by ${winner.author}`,
+  ),
 ];
 
 const appendProposal = (
@@ -90,7 +99,7 @@
   );
 };
 
-const takeProposal = (
+const handleProposal = (
   state: OperatorState,
   event: Extract<OperatorEvent, { readonly kind: 'record-posted' }>,
   inputs: OperatorInputs,
@@ -103,10 +112,10 @@
     case 'refused':
       return refuse(state, operationId, author, check.failure);
     case 'lost':
-      return toStep(state, ...replyLost(operationId, author, check.winner));
+      return toStep(state, ...buildLostReply(operationId, author, check.winner));
     case 'acceptable':
       return event.run === 'dry'
-        ? toStep(state, replyWith(operationId, { kind: 'dry-run', change: check.change }))
+        ? toStep(state, buildReply(operationId, { kind: 'dry-run', change: check.change }))
         : appendProposal(state, operationId, author, parsed.value);
     default:
       return assertNever(check);
@@ -127,7 +136,7 @@
   const known = state.pending.get(operationId);
   if (known === undefined) return toStep(state);
   switch (result.kind) {
-    // The record counts once it is read back; only the log's order tells whether it is in force.
+    // Whether the record is in force depends on its position in the log, so it is read back first.
     case 'appended':
     case 'unknown':
       return toStep(state, { kind: 'post', event: { to: 'control', kind: 'read-due' } });
@@ -140,7 +149,7 @@
   }
 };
 
-const settleFold = (
+const buildFoldEffects = (
   operationId: string,
   known: PendingRecord,
   result: FoldResult,
@@ -155,7 +164,7 @@
           : [];
       return [
         ...ends,
-        replyWith(operationId, { kind: 'in-force', offset }),
+        buildReply(operationId, { kind: 'in-force', offset }),
         {
           kind: 'log',
           name: 'operator-record-accepted',
@@ -164,10 +173,10 @@
       ];
     }
     case 'void': {
-      if (result.winner !== null) return replyLost(operationId, known.author, result.winner);
-      const text = 'the entity that the record is based on is not in force any more';
+      if (result.winner !== null) return buildLostReply(operationId, known.author, result.winner);
+      const text = 'the entity that the record is based on is no longer in force';
       const failure = createFailure('not-run', 'lost-race', text);
-      return [replyWith(operationId, { kind: 'failed', failure })];
+      return [buildReply(operationId, { kind: 'failed', failure })];
     }
     case 'snapshot':
     case 'known':
@@ -186,7 +195,7 @@
   for (const { nonce, result } of event.folded) {
     const known = next.pending.get(nonce);
     if (known === undefined) continue;
-    effects.push(...settleFold(nonce, known, result));
+    effects.push(...buildFoldEffects(nonce, known, result));
     next = removePending(next, nonce);
   }
   return toStep(next, ...effects);
@@ -195,16 +204,16 @@
 const expireOperation = (state: OperatorState, operationId: string): OperatorStep => {
   const known = state.pending.get(operationId);
   if (known === undefined) return toStep(state);
-  const text = 'the log did not show the record in time; it may still come into force';
+  const text = 'the record was not read back from the log in time; it may still take effect';
   const failure = createFailure('may-have-run', 'log-unavailable', text);
   return refuse(removePending(state, operationId), operationId, known.author, failure);
 };
 
 /**
- * Creates the decisions of the `operator` child. A record is checked, appended, and answered for
- * once it was read back.
+ * Creates the decision logic of the `operator` child. It checks a record, appends it, and replies
+ * once the record has been read back from the log.
  *
- * @param inputs - configuration in force
+ * @param inputs - access to the configuration in force
  * @returns the child's logic
  */
 export const createOperatorLogic = (
@@ -214,7 +223,7 @@
   decide: (state, event) => {
     switch (event.kind) {
       case 'record-posted':
-        return takeProposal(state, event, inputs);
+        return handleProposal(state, event, inputs);
       case 'append-ended':
         return handleAppend(state, event.operationId, event.result);
       case 'records-folded':
--- a/packages/entry/operator/operatorRoutes.ts
+++ b/packages/entry/operator/operatorRoutes.ts
@@ -9,22 +9,24 @@
 import { toProblem } from '../../wire/problem.js';
 import type { EntryEvent, OperatorOutcome } from '../events.js';
 import { createKeyTable } from '../frontend/authentication.js';
-import { readGivenRequestId } from '../frontend/requestId.js';
+import { readCallerRequestId } from '../frontend/requestId.js';
 
 type Operator = EntrySettings['operators'][number];
 
-/** One move as the operator interface shows it. */
+/** Move in the answers of the operator API. */
 export interface MoveRow {
   readonly name: string;
   readonly model: string;
   readonly from: string;
   readonly to: string;
   readonly deadline: number;
+  /** Share of the new version, from 0 to 1. */
   readonly share: number;
   readonly state: string;
   readonly reason?: string;
 }
 
+/** Dependencies of the operator API. */
 export interface OperatorRoutesOptions {
   readonly operators: readonly Operator[];
   readonly getConfiguration: () => ConfigurationState;
@@ -32,22 +34,22 @@
   readonly post: (event: EntryEvent) => 'queued' | 'shed';
 }
 
-/** Replies that wait for the loop. */
+/** Sends outcomes of the loop to the operators that wait for them. */
 export interface OperatorReplies {
   readonly send: (operationId: string, outcome: OperatorOutcome) => void;
 }
 
 const UNPROCESSABLE = 422;
 
-const sendFailure = (reply: FastifyReply, failure: Failure, extra: object = {}): void => {
-  const requestId = readGivenRequestId(reply.request) ?? createId();
+const sendFailure = (reply: FastifyReply, failure: Failure, extraFields: object = {}): void => {
+  const requestId = readCallerRequestId(reply.request) ?? createId();
   const problem = toProblem(failure, requestId);
   const status = failure.code === 'bad-request' ? UNPROCESSABLE : problem.status;
   void reply
     .code(status)
     .header('x-request-id', requestId)
     .type('application/problem+json')
-    .send({ ...problem, status, ...extra });
+    .send({ ...problem, status, ...extraFields });
 };
 
 const sendOutcome = (reply: FastifyReply, outcome: OperatorOutcome): void => {
@@ -73,18 +75,18 @@
 };
 
 /**
- * Registers the operator interface: declarative records only.
+ * Registers the routes of the operator API, which accepts only declarative records.
  *
  * @param server - HTTP server of the daemon
- * @param options - operators, configuration and the way into the loop
- * @returns the replies that wait for the loop
+ * @param options - operators, configuration and a function that posts to the loop
+ * @returns the sender of replies
  */
 export const registerOperatorRoutes = (
   server: FastifyInstance,
   options: OperatorRoutesOptions,
 ): OperatorReplies => {
   const operators = createKeyTable<Operator>(options.operators);
-  const waiting = new Map<string, FastifyReply>();
+  const pendingReplies = new Map<string, FastifyReply>();
 
   const findOperator = (request: FastifyRequest, reply: FastifyReply): Operator | undefined => {
     const operator = operators.findHolder(request.headers.authorization);
@@ -116,7 +118,7 @@
     }
     const body = parsed.value;
     const operationId = createId();
-    waiting.set(operationId, reply);
+    pendingReplies.set(operationId, reply);
     const run = request.query.dryRun === 'true' ? 'dry' : 'real';
     const author = operator.name;
     options.post({ to: 'operator', kind: 'record-posted', operationId, author, body, run });
@@ -125,8 +127,8 @@
 
   return {
     send: (operationId, outcome) => {
-      const reply = waiting.get(operationId);
-      waiting.delete(operationId);
+      const reply = pendingReplies.get(operationId);
+      pendingReplies.delete(operationId);
       if (reply !== undefined) sendOutcome(reply, outcome);
     },
   };
--- a/packages/entry/operator/webhook.ts
+++ b/packages/entry/operator/webhook.ts
@@ -4,11 +4,12 @@
 import type { EventLog } from '../../core/events/eventLog.js';
 
 /**
- * Creates the adapter that tells operators what happened without their asking.
+ * Creates the adapter that posts notices to the operators' webhook.
  *
- * @param url - address that takes notices as JSON, if any
- * @param events - log of sent and failed notices
- * @returns a function that sends one notice and tells whether its receiver took it
+ * @param url - URL that receives notices as JSON, or undefined to send none
+ * @param events - event log, which records sent and failed notices
+ * @returns a function that sends one notice and resolves to `sent` if the status is below 300, to
+ *   `failed` on any error, and to `no-address` without a URL
  */
 export const createNotifier = (
   url: string | undefined,
