Reword the front end of the entry daemon

breakOff, handOver, take and head of the responders are closeConnection, endWithTicket, removeResponder and eventPrefix, and comments speak of connections instead of open answers. The refusal during a drain says 'draining' as its code does. Tests state that a refused resume is reported as may-have-run. The wiring's factories are named after what they build.

--- a/packages/entry/frontend/authentication.ts
+++ b/packages/entry/frontend/authentication.ts
@@ -1,23 +1,24 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 
-/** Who may call, by the hash of the bearer key. */
+/** Principal that is identified by the hash of its bearer key. */
 export interface KeyHolder {
+  /** SHA-256 of the bearer key in hexadecimal. */
   readonly keyHash: string;
 }
 
-/** Finds the holder of a bearer key. */
+/** Table of bearer keys. */
 export interface KeyTable<Holder> {
-  /** Returns the holder named by an `Authorization` header, or undefined. */
+  /** Returns the holder of the key in an `Authorization` header, or undefined. */
   readonly findHolder: (authorization: string | undefined) => Holder | undefined;
 }
 
-const BEARER = /^Bearer\s+(\S+)$/i;
+const BEARER_PATTERN = /^Bearer\s+(\S+)$/i;
 
 /**
- * Creates a table of bearer keys. Only hashes are kept, and a hash is compared in constant time, so
- * that neither the settings nor the duration of an answer tell a key.
+ * Creates a table of bearer keys. It stores only hashes and compares them in constant time, so that
+ * neither the settings nor the response time reveal a key.
  *
- * @param holders - holders with the SHA-256 of their key in hexadecimal
+ * @param holders - holders of the keys
  * @returns the table
  */
 export const createKeyTable = <Holder extends KeyHolder>(
@@ -26,7 +27,7 @@
   const byHash = new Map(holders.map((holder) => [holder.keyHash.toLowerCase(), holder]));
   return {
     findHolder: (authorization) => {
-      const key = BEARER.exec(authorization ?? '')?.[1];
+      const key = BEARER_PATTERN.exec(authorization ?? '')?.[1];
       if (key === undefined) return undefined;
       const digest = createHash('sha256').update(key).digest();
       const holder = byHash.get(digest.toString('hex'));
--- a/packages/entry/frontend/badInput.test.ts
+++ b/packages/entry/frontend/badInput.test.ts
@@ -18,7 +18,7 @@
 
 const SETTINGS = loadSettings('app/settings/entry.jsonc', 'entry').unwrap();
 
-/** The front end alone: `queued` holds what it handed to the loop. */
+/** Starts the front end without a loop; `queued` collects what it posts. */
 const startFrontEnd = () => {
   const queued: (CallerRequest | EntryEvent)[] = [];
   const limits = { ...SETTINGS.limits, maxBodyBytes: MAX_BODY_BYTES };
@@ -29,7 +29,7 @@
     responders,
     postRequest: (request) => {
       queued.push(request);
-      // The loop would answer; here the answer only shows that the request was let in.
+      // Stands in for the loop; status 202 shows that the request was accepted.
       responders.sendAnswer(request.requestId, {
         status: 202,
         headers: [],
@@ -73,7 +73,7 @@
   readonly request: InjectOptions;
   readonly status: number;
   readonly code: string;
-  /** Field, header or offset that the error names. */
+  /** Matches the field, header or offset in the problem detail. */
   readonly detail: RegExp;
   readonly headers?: Readonly<Record<string, string>>;
 }
@@ -149,7 +149,7 @@
     { method: 'GET', url: '/operator/configuration' } as const,
     { method: 'GET', url: '/operator/moves' } as const,
   ].flatMap((request) =>
-    // A customer's key gives no right to operate.
+    // A customer's key must not authorize an operator.
     ['Bearer wrong', CUSTOMER.authorization, 'wrong', ''].map((authorization) => ({
       name: `operator key "${authorization}" for ${request.url}`,
       request,
@@ -169,8 +169,8 @@
   },
 ];
 
-// Guards against errors that leave out the field, the verdict or the caller's request id, and
-// against refused requests that reach the loop all the same.
+// Guards against problems that lack the invalid field, the verdict or the caller's request id, and
+// against refused requests that still reach the loop.
 for (const { name, request, status, code, detail, headers } of [
   ...BAD_BODIES,
   ...BAD_KEYS,
@@ -190,7 +190,7 @@
     t.like(problem, { verdict: 'not-run', code, requestId: REQUEST_ID, status });
     t.regex(String(problem['detail']), detail);
     t.deepEqual(queued, []);
-    // One bad request must not disturb the next.
+    // A refused request must not affect the next one.
     const good = await server.inject({ ...CHAT, headers: CUSTOMER, payload: BODY });
     t.is(good.statusCode, 202);
     t.is(queued.length, 1);
@@ -205,10 +205,10 @@
   [toEventId({ customer: 'other' }), /^Last-Event-ID is of another customer/],
 ];
 
-// Guards against a refused resume that starts a second generation or is told as not-run: the
-// generation that a ticket of this system names has run, whatever is wrong with the ticket.
+// Guards against a refused resume that starts a second generation or is reported as not-run: the
+// generation of the ticket has run, even if the ticket is invalid.
 for (const [index, [eventId, detail]] of BAD_TICKETS.entries()) {
-  test(`a bad ticket resumes nothing and is named: ${index.toString()} ${detail.source}`, async (t) => {
+  test(`an invalid ticket is refused and resumes nothing: ${index.toString()} ${detail.source}`, async (t) => {
     const { server, queued } = startFrontEnd();
     t.teardown(() => server.close());
     const headers = { ...CUSTOMER, 'last-event-id': eventId, 'x-request-id': REQUEST_ID };
@@ -229,8 +229,8 @@
   });
 }
 
-// Guards against a resume that is refused for other reasons and told as not-run.
-test('a resume with a wrong key or a body over the limit may have run', async (t) => {
+// Guards against a resume that is refused for another reason and reported as not-run.
+test('a resume with a wrong key or a body over the limit is reported as may-have-run', async (t) => {
   const { server } = startFrontEnd();
   t.teardown(() => server.close());
   const headers = { ...CUSTOMER, 'last-event-id': toEventId({}) };
@@ -241,8 +241,9 @@
   for (const answer of refused) t.like(answer.json(), { verdict: 'may-have-run' }, answer.body);
 });
 
-// Guards against a fresh time of issue that lets a key run again whose chain was dropped long ago.
-test('the time inside a UUIDv7 key goes before the header', async (t) => {
+// Guards against a header with a recent time of issue that lets a request run again after the chain
+// of its key has expired.
+test('the time in a UUIDv7 key takes precedence over the header', async (t) => {
   const { server, queued } = startFrontEnd();
   t.teardown(() => server.close());
   const key = '01890a5d-ac96-774b-bcce-b302099a8057';
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -6,7 +6,7 @@
 import { createKeyTable } from './authentication.js';
 import { parseIdempotencyKey } from './idempotencyKey.js';
 import { parseRequestBody } from './requestBody.js';
-import { readGivenRequestId } from './requestId.js';
+import { readCallerRequestId } from './requestId.js';
 import type { Responders } from './responders.js';
 import { findServiceRoute } from './serviceRoutes.js';
 import type { Clock } from '../../core/clock.js';
@@ -22,6 +22,7 @@
 
 type Customer = EntrySettings['customers'][number];
 
+/** Dependencies of the callers' server. */
 export interface CallerServerOptions {
   readonly settings: EntrySettings;
   readonly clock: Clock;
@@ -31,7 +32,7 @@
   readonly listModels: () => readonly ModelName[];
 }
 
-/** Headers of a service call that go through; the rest belong to the hop between caller and entry. */
+/** Headers of a service call that are forwarded; others concern the connection to the caller. */
 const FORWARDED_HEADERS: ReadonlySet<string> = new Set([
   'accept',
   'content-type',
@@ -55,7 +56,7 @@
 
 const toBytes = (body: unknown): Uint8Array => (body instanceof Buffer ? body : new Uint8Array());
 
-const readKey = (request: FastifyRequest) =>
+const readIdempotencyKey = (request: FastifyRequest) =>
   parseIdempotencyKey({
     key: getRawHeader(request, 'idempotency-key'),
     issuedAt: getRawHeader(request, 'idempotency-key-issued-at'),
@@ -71,9 +72,9 @@
 };
 
 /**
- * Creates the callers' HTTP interface. It checks and reads requests; the loop decides on them.
+ * Creates the HTTP server for callers. It validates and parses requests; the loop decides on them.
  *
- * @param options - settings, open answers and the way into the loop
+ * @param options - settings, open connections and functions that post to the loop
  * @returns the server, not yet listening
  */
 export const createCallerServer = (options: CallerServerOptions): FastifyInstance => {
@@ -90,11 +91,11 @@
   });
 
   const readRequestId = (request: FastifyRequest): string => {
-    const given = readGivenRequestId(request);
+    const given = readCallerRequestId(request);
     return given !== undefined && !responders.has(given) ? given : createId();
   };
 
-  const readBase = (request: FastifyRequest, requestId: string, customer: Customer) => ({
+  const readCommonFields = (request: FastifyRequest, requestId: string, customer: Customer) => ({
     requestId,
     customer: customer.id,
     className: getHeader(request, 'x-chestnutspan-class') ?? null,
@@ -127,7 +128,7 @@
     }
     const { ticket, lastNumber } = verified.value;
     return Ok({
-      ...readBase(request, requestId, customer),
+      ...readCommonFields(request, requestId, customer),
       kind: 'resume',
       fingerprint: '',
       generationId: ticket.generationId,
@@ -151,8 +152,8 @@
     const body = toBytes(request.body);
     const parsed = parseRequestBody(body);
     if (parsed.isErr()) return sendProblem(reply, requestId, parsed.error);
-    const base = readBase(request, requestId, customer);
-    const key = readKey(request);
+    const base = readCommonFields(request, requestId, customer);
+    const key = readIdempotencyKey(request);
     if (key.isErr()) return sendProblem(reply, requestId, key.error);
     const chat = { ...base, ...parsed.value, ...key.value, kind: 'generation', body } as const;
     submit(reply, chat, parsed.value.form);
@@ -166,17 +167,17 @@
     const { name = '', '*': rest = '' } = request.params as Record<string, string | undefined>;
     const route = findServiceRoute(settings.services, name, request.method, `/${rest}`);
     if (route.isErr()) return sendProblem(reply, requestId, route.error);
-    const key = readKey(request);
+    const key = readIdempotencyKey(request);
     if (key.isErr()) return sendProblem(reply, requestId, key.error);
     const body = toBytes(request.body);
     const path = request.url.slice(`/services/${name}`.length);
     const callerRequest: CallerRequest = {
-      ...readBase(request, requestId, customer),
+      ...readCommonFields(request, requestId, customer),
       kind: 'service',
       service: name,
       method: request.method,
       path,
-      headers: listForwarded(request),
+      headers: listForwardedHeaders(request),
       body,
       repeat: route.value.repeat,
       routeClass: route.value.className ?? null,
@@ -206,20 +207,20 @@
     return sendProblem(reply, readRequestId(request), failure);
   });
   server.setErrorHandler((error: FastifyError, request, reply) => {
-    const failure = toServerFailure(error, settings.limits.maxBodyBytes);
+    const failure = toRequestFailure(error, settings.limits.maxBodyBytes);
     const refusal = isResume(request) ? toResumeRefusal(failure) : failure;
     return sendProblem(reply, readRequestId(request), refusal);
   });
   return server;
 };
 
-const toServerFailure = (error: FastifyError, maxBodyBytes: number): Failure => {
+const toRequestFailure = (error: FastifyError, maxBodyBytes: number): Failure => {
   if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
     const text = `body: it is larger than ${maxBodyBytes.toString()} bytes`;
     return createFailure('not-run', 'too-large', text);
   }
-  const isCallers = error.statusCode !== undefined && error.statusCode < 500;
-  return createFailure('not-run', isCallers ? 'bad-request' : 'internal', error.message);
+  const isClientError = error.statusCode !== undefined && error.statusCode < 500;
+  return createFailure('not-run', isClientError ? 'bad-request' : 'internal', error.message);
 };
 
 const sendUnauthorized = (
@@ -232,7 +233,7 @@
   return sendProblem(reply, requestId, isResume(request) ? toResumeRefusal(failure) : failure);
 };
 
-const listForwarded = (request: FastifyRequest): readonly HeaderField[] =>
+const listForwardedHeaders = (request: FastifyRequest): readonly HeaderField[] =>
   Object.entries(request.headers).flatMap(([name, value]) =>
     typeof value === 'string' && FORWARDED_HEADERS.has(name) ? [{ name, value }] : [],
   );
--- a/packages/entry/frontend/constants.ts
+++ b/packages/entry/frontend/constants.ts
@@ -1,23 +1,23 @@
-/** Common estimate of characters per token; only admission uses it, never billing. */
+/** Estimated characters per token. Only admission uses the estimate, never billing. */
 export const CHARACTERS_PER_TOKEN = 4;
 
-/** Tokens that an engine adds to each message of a chat. */
+/** Estimated tokens that an engine adds for each message of a chat. */
 export const MESSAGE_OVERHEAD_TOKENS = 4;
 
-/** Characters at the start of a prompt that name its cached prefix. */
+/** Number of leading characters of a prompt whose hash identifies its cached prefix. */
 export const PREFIX_CHARACTERS = 256;
 
-/** Unsent bytes of one caller's stream above which its connection is closed; it can resume. */
-export const CALLER_BACKLOG_BYTES = 1_048_576;
+/** Maximum unsent bytes of one stream. Above it the connection is closed; the caller can resume. */
+export const MAX_CALLER_BACKLOG_BYTES = 1_048_576;
 
-/** Period in which a draining process looks whether its requests have ended. */
+/** Interval at which a draining process checks whether its requests have ended. */
 export const DRAIN_CHECK_MS = 100;
 
-/** Time after the hand-over of streams that calls get to end. */
-export const HAND_OVER_MS = 5_000;
+/** Grace period after the hand-over of streams, in which calls can finish. */
+export const HAND_OVER_GRACE_MS = 5_000;
 
-/** Longest `Idempotency-Key`; the key is part of each record of its chain. */
+/** Maximum length of an `Idempotency-Key`, which is stored in each record of its chain. */
 export const MAX_KEY_LENGTH = 256;
 
-/** Longest `X-Request-Id` that is taken over; it is part of each log line of the request. */
+/** Maximum length of an accepted `X-Request-Id`, which is part of each log line of the request. */
 export const MAX_REQUEST_ID_LENGTH = 128;
--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -9,6 +9,7 @@
 import type { EntryEffect, FrontendEvent } from '../events.js';
 import type { CallerRequest } from '../types.js';
 
+/** Phase of the drain; `since` is the instant at which the phase began. */
 export type GateState =
   | { readonly phase: 'accepting' }
   | { readonly phase: 'draining'; readonly since: Millis }
@@ -17,16 +18,16 @@
 
 export interface GateInputs {
   readonly now: () => Millis;
-  /** Time that running requests get to end; after it streams are handed over. */
+  /** Time in which open requests can finish before streams are handed over. */
   readonly drainMs: Millis;
-  /** Time after the hand-over that the rest gets, such as calls that must not be cut off. */
-  readonly handOverMs: Millis;
+  /** Time after the hand-over in which the rest can finish, such as uninterruptible calls. */
+  readonly handOverGraceMs: Millis;
   readonly countOpen: () => number;
 }
 
 type GateStep = Step<GateState, EntryEffect>;
 
-const CHECK: EntryEffect = {
+const NEXT_CHECK: EntryEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
   event: { to: 'frontend', kind: 'drain-checked' },
@@ -36,8 +37,8 @@
   if (state.phase === 'accepting') {
     return { kind: 'post', event: { to: 'requests', kind: 'request-received', request } };
   }
-  const leaving = createFailure('not-run', 'draining', 'the entry daemon is leaving', 1);
-  const failure = request.kind === 'resume' ? toResumeRefusal(leaving) : leaving;
+  const refusal = createFailure('not-run', 'draining', 'the entry daemon is draining', 1);
+  const failure = request.kind === 'resume' ? toResumeRefusal(refusal) : refusal;
   return { kind: 'fail-request', requestId: request.requestId, failure };
 };
 
@@ -46,7 +47,7 @@
   return toStep<GateState, EntryEffect>(
     { phase: 'draining', since: now },
     { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
-    CHECK,
+    NEXT_CHECK,
   );
 };
 
@@ -62,14 +63,14 @@
       return toStep(state);
     case 'draining':
       if (open === 0) return finishDrain(0);
-      if (now - state.since < inputs.drainMs) return toStep(state, CHECK);
+      if (now - state.since < inputs.drainMs) return toStep(state, NEXT_CHECK);
       return toStep<GateState, EntryEffect>(
         { phase: 'handing-over', since: now },
         { kind: 'post', event: { to: 'requests', kind: 'drain-ended' } },
-        CHECK,
+        NEXT_CHECK,
       );
     case 'handing-over':
-      if (open > 0 && now - state.since < inputs.handOverMs) return toStep(state, CHECK);
+      if (open > 0 && now - state.since < inputs.handOverGraceMs) return toStep(state, NEXT_CHECK);
       return finishDrain(open);
     default:
       return assertNever(state);
@@ -77,9 +78,10 @@
 };
 
 /**
- * Creates the decisions of the `frontend` child: whether new requests are let in, and the drain.
+ * Creates the decision logic of the `frontend` child, which admits new requests and performs the
+ * drain.
  *
- * @param inputs - clock, time limits and the number of open requests
+ * @param inputs - clock, time limits and the count of open requests
  * @returns the child's logic
  */
 export const createGateLogic = (
--- a/packages/entry/frontend/idempotencyKey.ts
+++ b/packages/entry/frontend/idempotencyKey.ts
@@ -7,24 +7,24 @@
 import type { Failure } from '../../core/verdict.js';
 import { resolveIssueTime } from '../../decisions/idempotency/keys.js';
 
-/** Key of a call, as the caller's headers give it. */
-export interface GivenKey {
+/** Idempotency key of a request; both fields are null when the caller sent none. */
+export interface IdempotencyKey {
   readonly key: string | null;
   readonly issuedAt: Millis | null;
 }
 
-/** Header values as they were received; undefined when the header is absent. */
+/** Raw header values; undefined when the header is absent. */
 export interface KeyHeaders {
   readonly key: string | undefined;
   readonly issuedAt: string | undefined;
 }
 
-/** Control characters and bytes above ASCII read differently on the way through other processes. */
-const PRINTABLE = /^[\x20-\x7e]+$/;
+/** Excludes control characters and non-ASCII bytes, which other processes may read differently. */
+const PRINTABLE_ASCII = /^[\x20-\x7e]+$/;
 
 const MILLIS_SINCE_EPOCH = /^\d{1,15}$/;
 
-/** A date without a zone would differ between daemons whose zones differ. */
+/** Without an offset, daemons in different time zones would read the same time differently. */
 const isoDate = z.union([z.iso.date(), z.iso.datetime({ offset: true })]);
 
 const refuse = (text: string): Result<never, Failure> =>
@@ -39,19 +39,22 @@
 };
 
 /**
- * Reads the idempotency key of a call. An invalid key is refused and not left out: without its key
- * the call could run again when it is sent again.
+ * Parses the idempotency key of a request. An invalid key is refused rather than ignored: without
+ * its key, a retried request could run twice.
  *
  * @param headers - values of `Idempotency-Key` and `Idempotency-Key-Issued-At`
  * @returns the key with its time of issue, or a `not-run` failure that names the header
  */
-export const parseIdempotencyKey = ({ key, issuedAt }: KeyHeaders): Result<GivenKey, Failure> => {
+export const parseIdempotencyKey = ({
+  key,
+  issuedAt,
+}: KeyHeaders): Result<IdempotencyKey, Failure> => {
   if (key === undefined) return Ok({ key: null, issuedAt: null });
   if (key === '') return refuse('Idempotency-Key is empty');
   if (key.length > MAX_KEY_LENGTH) {
     return refuse(`Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`);
   }
-  if (!PRINTABLE.test(key)) return refuse('Idempotency-Key holds a character outside ASCII');
+  if (!PRINTABLE_ASCII.test(key)) return refuse('Idempotency-Key holds a character outside ASCII');
   const time = issuedAt === undefined ? Ok(null) : parseTime(issuedAt);
   return time.map((given) => ({ key, issuedAt: resolveIssueTime(key, given) }));
 };
--- a/packages/entry/frontend/requestBody.ts
+++ b/packages/entry/frontend/requestBody.ts
@@ -19,13 +19,13 @@
   max_completion_tokens: z.number().int().positive().nullish(),
 });
 
-/** What the daemon needs of a chat-completions body; the rest goes to the engine unread. */
+/** Fields that the daemon derives from a chat-completions body; the engine gets the raw body. */
 export type ParsedBody = Pick<
   GenerationRequest,
   'model' | 'form' | 'promptTokens' | 'maxTokens' | 'prefix' | 'fingerprint'
 >;
 
-const listTexts = (messages: z.output<typeof bodySchema>['messages']): readonly string[] =>
+const listContents = (messages: z.output<typeof bodySchema>['messages']): readonly string[] =>
   messages.map(({ content }) =>
     typeof content === 'string' ? content : JSON.stringify(content ?? ''),
   );
@@ -33,19 +33,19 @@
 const hashText = (text: string): string => createHash('sha256').update(text).digest('base64url');
 
 /**
- * Computes the hash by which endpoints name a cached prompt prefix.
+ * Computes the hash that identifies a cached prompt prefix in the reports of endpoints.
  *
- * @param text - contents of all messages, joined
+ * @param text - concatenated contents of all messages
  * @returns the hash
  */
 export const hashPrefix = (text: string): string =>
   createHash('sha256').update(text.slice(0, PREFIX_CHARACTERS)).digest('hex').slice(0, 16);
 
 /**
- * Checks a chat-completions body and reads what placement needs.
+ * Validates a chat-completions body and derives the fields that placement needs.
  *
  * @param bytes - JSON body as it was received
- * @returns the parsed body, or a `not-run` failure that names the field or the offset
+ * @returns the derived fields, or a `not-run` failure that names the invalid field or the offset
  */
 export const parseRequestBody = (bytes: Uint8Array): Result<ParsedBody, Failure> => {
   const json = parseJsonBytes(bytes);
@@ -57,8 +57,8 @@
     return Err(createFailure('not-run', 'bad-request', text));
   }
   const { model, messages, stream, stream_options: options } = parsed.data;
-  const contents = listTexts(messages);
-  const joined = contents.join('');
+  const contents = listContents(messages);
+  const prompt = contents.join('');
   return Ok({
     model,
     form:
@@ -66,10 +66,10 @@
         ? { kind: 'stream', usage: options?.include_usage === true ? 'included' : 'left-out' }
         : { kind: 'whole' },
     promptTokens:
-      Math.ceil(joined.length / CHARACTERS_PER_TOKEN) + messages.length * MESSAGE_OVERHEAD_TOKENS,
+      Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) + messages.length * MESSAGE_OVERHEAD_TOKENS,
     maxTokens: parsed.data.max_completion_tokens ?? parsed.data.max_tokens ?? null,
-    prefix: hashPrefix(joined),
-    // The form of the answer is left out, so that the same content sent again is recognised.
+    prefix: hashPrefix(prompt),
+    // Leaves out the form of the answer, so that a retry in another form has the same fingerprint.
     fingerprint: hashText(`${model}\n${contents.join('\n')}`),
   });
 };
--- a/packages/entry/frontend/requestId.ts
+++ b/packages/entry/frontend/requestId.ts
@@ -3,12 +3,12 @@
 import type { RequestId } from '../../core/ids.js';
 
 /**
- * Reads the request id that a caller gave.
+ * Reads the request id that the caller sent.
  *
  * @param request - HTTP request
  * @returns the value of `X-Request-Id`, or undefined when it is absent, empty or too long
  */
-export const readGivenRequestId = (request: FastifyRequest): RequestId | undefined => {
+export const readCallerRequestId = (request: FastifyRequest): RequestId | undefined => {
   const given = request.headers['x-request-id'];
   if (typeof given !== 'string' || given === '') return undefined;
   return given.length <= MAX_REQUEST_ID_LENGTH ? given : undefined;
--- a/packages/entry/frontend/responders.ts
+++ b/packages/entry/frontend/responders.ts
@@ -1,5 +1,5 @@
 import type { FastifyReply } from 'fastify';
-import { CALLER_BACKLOG_BYTES } from './constants.js';
+import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import { buildWholeAnswer, formatAnswerFields } from './wholeAnswer.js';
 import type { AnswerIdentity } from './wholeAnswer.js';
 import type { RequestId } from '../../core/ids.js';
@@ -8,7 +8,7 @@
 import { formatEventId } from '../../wire/resumeTicket.js';
 import type { AnswerForm, ServiceAnswer } from '../types.js';
 
-/** Chunks of one generation for a caller. */
+/** Consecutive chunks of one generation to write to a caller. */
 export interface ChunkWrite {
   readonly requestId: RequestId;
   readonly identity: AnswerIdentity;
@@ -17,30 +17,33 @@
   readonly chunks: readonly string[];
 }
 
-/** Open answers to callers. */
+/** Connections of callers whose requests are open. */
 export interface Responders {
-  /** Takes over the connection of a request. */
+  /** Takes over the connection of a request from Fastify. */
   readonly open: (requestId: RequestId, reply: FastifyReply, form: AnswerForm) => void;
   readonly has: (requestId: RequestId) => boolean;
   readonly count: () => number;
-  /** Writes chunks; `slow` when the caller leaves too much unread. */
+  /** Writes chunks; returns `slow` when the caller's unsent backlog exceeds its limit. */
   readonly writeChunks: (write: ChunkWrite) => 'written' | 'slow';
   readonly finishGeneration: (requestId: RequestId, usage: string) => void;
   readonly sendAnswer: (requestId: RequestId, answer: ServiceAnswer) => void;
   readonly failRequest: (requestId: RequestId, failure: Failure) => void;
-  /** Closes a connection without an answer. */
-  readonly breakOff: (requestId: RequestId) => void;
+  /** Destroys a connection without completing its answer. */
+  readonly closeConnection: (requestId: RequestId) => void;
   readonly failAll: (failure: Failure) => void;
-  /** Ends the connection after a resume ticket, without an end mark. */
-  readonly handOver: (requestId: RequestId, ticket: string, nextNumber: number) => void;
+  /** Sends a resume ticket and ends the stream without `[DONE]`. */
+  readonly endWithTicket: (requestId: RequestId, ticket: string, nextNumber: number) => void;
 }
 
+/** Connection of one open request. */
 interface Responder {
   readonly reply: FastifyReply;
   readonly form: AnswerForm;
   identity: AnswerIdentity | null;
+  /** Chunks that wait for the end of a `whole` answer. */
   chunks: string[];
-  head: string;
+  /** JSON up to the choices, which all events of a stream share. */
+  eventPrefix: string;
 }
 
 const SSE_HEADERS = {
@@ -49,7 +52,7 @@
   connection: 'keep-alive',
 } as const;
 
-const formatHead = (identity: AnswerIdentity): string => {
+const formatEventPrefix = (identity: AnswerIdentity): string => {
   const fields = JSON.stringify(formatAnswerFields(identity, 'chat.completion.chunk'));
   return `data: ${fields.slice(0, -1)},"choices":`;
 };
@@ -76,30 +79,30 @@
 };
 
 /**
- * Creates the table of open answers. Each is written by effects of the loop alone.
+ * Creates the table of open connections. Only effects of the loop write to a connection.
  *
  * @returns the empty table
  */
 export const createResponders = (): Responders => {
-  const open = new Map<RequestId, Responder>();
+  const openResponders = new Map<RequestId, Responder>();
 
-  const openStream = (responder: Responder, requestId: RequestId, identity: AnswerIdentity) => {
+  const startAnswer = (responder: Responder, requestId: RequestId, identity: AnswerIdentity) => {
     if (responder.identity !== null) return;
     responder.identity = identity;
-    responder.head = formatHead(identity);
+    responder.eventPrefix = formatEventPrefix(identity);
     if (responder.form.kind === 'stream') {
       responder.reply.raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
     }
   };
 
-  const take = (requestId: RequestId): Responder | undefined => {
-    const responder = open.get(requestId);
-    open.delete(requestId);
+  const removeResponder = (requestId: RequestId): Responder | undefined => {
+    const responder = openResponders.get(requestId);
+    openResponders.delete(requestId);
     return responder;
   };
 
   const failRequest = (requestId: RequestId, failure: Failure): void => {
-    const responder = take(requestId);
+    const responder = removeResponder(requestId);
     if (responder === undefined) return;
     const { raw } = responder.reply;
     if (!raw.headersSent) {
@@ -113,31 +116,31 @@
   return {
     open: (requestId, reply, form) => {
       reply.hijack();
-      open.set(requestId, { reply, form, identity: null, chunks: [], head: '' });
+      openResponders.set(requestId, { reply, form, identity: null, chunks: [], eventPrefix: '' });
     },
-    has: (requestId) => open.has(requestId),
-    count: () => open.size,
+    has: (requestId) => openResponders.has(requestId),
+    count: () => openResponders.size,
     writeChunks: ({ requestId, identity, ticket, fromNumber, chunks }) => {
-      const responder = open.get(requestId);
+      const responder = openResponders.get(requestId);
       if (responder === undefined) return 'written';
-      openStream(responder, requestId, identity);
+      startAnswer(responder, requestId, identity);
       if (responder.form.kind === 'whole') {
         for (const chunk of chunks) responder.chunks.push(chunk);
         return 'written';
       }
-      const { head } = responder;
+      const { eventPrefix } = responder;
       const text = chunks
         .map(
           (chunk, index) =>
-            `id: ${formatEventId(ticket, fromNumber + index)}\n${head}${chunk}}\n\n`,
+            `id: ${formatEventId(ticket, fromNumber + index)}\n${eventPrefix}${chunk}}\n\n`,
         )
         .join('');
       const { raw } = responder.reply;
       raw.write(text);
-      return raw.writableLength > CALLER_BACKLOG_BYTES ? 'slow' : 'written';
+      return raw.writableLength > MAX_CALLER_BACKLOG_BYTES ? 'slow' : 'written';
     },
     finishGeneration: (requestId, usage) => {
-      const responder = take(requestId);
+      const responder = removeResponder(requestId);
       if (responder === undefined) return;
       const { raw } = responder.reply;
       const { identity, form } = responder;
@@ -148,12 +151,12 @@
       }
       if (!raw.headersSent) raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
       if (form.kind === 'stream' && form.usage === 'included' && usage !== '') {
-        raw.write(`${responder.head}[],"usage":${usage}}\n\n`);
+        raw.write(`${responder.eventPrefix}[],"usage":${usage}}\n\n`);
       }
       raw.end('data: [DONE]\n\n');
     },
     sendAnswer: (requestId, answer) => {
-      const responder = take(requestId);
+      const responder = removeResponder(requestId);
       if (responder === undefined) return;
       const headers = answer.headers.map(({ name, value }) => [name, value] as const);
       const { raw } = responder.reply;
@@ -161,18 +164,18 @@
       raw.end(answer.body);
     },
     failRequest,
-    breakOff: (requestId) => {
-      take(requestId)?.reply.raw.destroy();
+    closeConnection: (requestId) => {
+      removeResponder(requestId)?.reply.raw.destroy();
     },
     failAll: (failure) => {
-      for (const requestId of [...open.keys()]) failRequest(requestId, failure);
+      for (const requestId of [...openResponders.keys()]) failRequest(requestId, failure);
     },
-    handOver: (requestId, ticket, nextNumber) => {
-      const responder = take(requestId);
+    endWithTicket: (requestId, ticket, nextNumber) => {
+      const responder = removeResponder(requestId);
       if (responder === undefined) return;
       const { raw } = responder.reply;
       if (!raw.headersSent) raw.writeHead(200, { ...SSE_HEADERS, 'x-request-id': requestId });
-      // `retry: 0` asks event-stream clients to reconnect at once with the last id.
+      // `retry: 0` makes event-stream clients reconnect immediately with the last event id.
       raw.end(`retry: 0\nid: ${formatEventId(ticket, nextNumber - 1)}\n: moved\n\n`);
     },
   };
--- a/packages/entry/frontend/serviceRoutes.ts
+++ b/packages/entry/frontend/serviceRoutes.ts
@@ -20,10 +20,10 @@
 /**
  * Finds the route of a service call.
  *
- * @param services - services of the settings
- * @param name - service that the caller named
+ * @param services - configured services
+ * @param name - name of the requested service
  * @param method - HTTP method
- * @param path - path below the service, without the query
+ * @param path - path relative to the service, without the query string
  * @returns the route, or a `not-run` failure
  */
 export const findServiceRoute = (
--- a/packages/entry/frontend/tickets.ts
+++ b/packages/entry/frontend/tickets.ts
@@ -4,14 +4,14 @@
 import { TICKET_LIFETIME_MS } from '../../wire/constants.js';
 import { signTicket } from '../../wire/resumeTicket.js';
 
-/** A ticket that was signed for a request's generation. */
+/** Signed resume ticket for the generation of a request. */
 export interface IssuedTicket {
   readonly generationId: string;
   readonly ticket: string;
   readonly createdAt: Millis;
 }
 
-/** Signs one ticket for each generation and keeps it while its request is open. */
+/** Signs one resume ticket per generation and keeps it until its request is closed. */
 export interface TicketIssuer {
   readonly getTicket: (
     requestId: RequestId,
@@ -25,7 +25,7 @@
  * Creates the issuer of resume tickets.
  *
  * @param key - secret shared by all entry daemons
- * @param clock - time of issue
+ * @param clock - clock for the times of issue and expiry
  * @returns the issuer
  */
 export const createTicketIssuer = (key: string, clock: Clock): TicketIssuer => {
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -27,7 +27,7 @@
 
 type EffectOf<Kind extends EntryEffect['kind']> = Extract<EntryEffect, { readonly kind: Kind }>;
 
-const LOST_REQUEST = createFailure(
+const REQUEST_STATE_LOST = createFailure(
   'may-have-run',
   'internal',
   'the entry daemon lost the state of the request',
@@ -45,15 +45,15 @@
     chunks,
   });
   if (written === 'written' || effect.pace === 'stored') return;
-  // The caller reads too slowly to buffer for it here; it can resume from its last event id.
-  adapters.responders.breakOff(requestId);
+  // The caller reads too slowly to buffer its stream here; it can resume from its last event id.
+  adapters.responders.closeConnection(requestId);
   adapters.loop().post({ to: 'requests', kind: 'caller-gone', requestId });
 };
 
 const transferStream = (effect: EffectOf<'hand-over'>, adapters: EntryAdapters): void => {
   const { requestId, customer, source, nextNumber } = effect;
   const { ticket } = adapters.tickets.getTicket(requestId, customer, source);
-  adapters.responders.handOver(requestId, ticket, nextNumber);
+  adapters.responders.endWithTicket(requestId, ticket, nextNumber);
   adapters.tickets.remove(requestId);
 };
 
@@ -90,7 +90,7 @@
       metrics.recordLatency(effect.name, effect.className, effect.duration);
       return;
     case 'reset-requests':
-      responders.failAll(LOST_REQUEST);
+      responders.failAll(REQUEST_STATE_LOST);
       return;
     case 'fetch-list':
       platform.fetchList();
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -5,7 +5,7 @@
 import { classifyEvent } from './classify.js';
 import type { EntryEffect, EntryEvent, OperatorOutcome } from './events.js';
 import { createCallerServer } from './frontend/callerServer.js';
-import { HAND_OVER_MS } from './frontend/constants.js';
+import { HAND_OVER_GRACE_MS } from './frontend/constants.js';
 import { createGateLogic } from './frontend/gate.js';
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
@@ -58,12 +58,12 @@
 import { createLogClient } from '../platform/client/logClient.js';
 import type { EntrySettings } from '../settings/types.js';
 
-/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+/** Reason for which a daemon ends: its drain has finished, or its supervisor tree failed. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
 
-/** Everything that one entry daemon is made of. */
+/** Components of one entry daemon. */
 export interface EntryCradle {
   readonly settings: EntrySettings;
   readonly onEnd: (reason: EndReason) => void;
@@ -80,12 +80,12 @@
   readonly requestsInputs: RequestsInputs;
   readonly logics: EntryLogics;
   readonly callers: FastifyInstance;
-  /** Set when the callers' server registers the operator interface. */
+  /** Set when the operator routes are registered with the callers' server. */
   readonly operatorReplies: { current: OperatorReplies | null };
   readonly daemon: Daemon<EntryEvent>;
 }
 
-const buildEvents = ({ settings, incarnation, clock }: EntryCradle): EventLog =>
+const buildEventLog = ({ settings, incarnation, clock }: EntryCradle): EventLog =>
   createEventLog({
     process: settings.process,
     role: 'entry',
@@ -94,7 +94,7 @@
     write: createConsolaWriter(settings.log.format),
   });
 
-const buildHeartbeats = (cradle: EntryCradle): HeartbeatServer =>
+const buildHeartbeatServer = (cradle: EntryCradle): HeartbeatServer =>
   createHeartbeatServer((heartbeatId, heartbeat) =>
     cradle.daemon.loop.post({
       to: 'membership',
@@ -104,7 +104,7 @@
     }),
   );
 
-const buildPlatform = (cradle: EntryCradle): PlatformAdapter => {
+const buildPlatformAdapter = (cradle: EntryCradle): PlatformAdapter => {
   const { logUrl, listUrl } = cradle.settings.platform;
   return createPlatformAdapter(
     createLogClient({ baseUrl: logUrl, timeoutMs: LOG_TIMEOUT_MS }),
@@ -115,7 +115,7 @@
   );
 };
 
-const buildEndpoints = (cradle: EntryCradle): EndpointClient =>
+const buildEndpointClient = (cradle: EntryCradle): EndpointClient =>
   createEndpointClient(cradle.settings.process, (completion) => {
     cradle.daemon.loop.post({ to: 'requests', kind: 'endpoint-completed', completion });
   });
@@ -139,7 +139,7 @@
     findReport: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report,
     getCustomerWeight: (customer) => customers.get(customer)?.weight ?? 1,
     chooseVersion: (model, requestId) =>
-      chooseMoveVersion(states.moves, model, requestId, hashText),
+      chooseMoveVersion(states.moves, model, requestId, hashToUint32),
     getQuarantined: () => states.control.view.quarantined,
     budgets: createBudgetTable(),
     suspicions: createSuspicions(),
@@ -173,7 +173,7 @@
       createId,
       process: settings.process,
       webhook: settings.webhookUrl === undefined ? 'none' : 'set',
-      hash: hashText,
+      hash: hashToUint32,
       listMoves: () => states.control.view.moves,
     }),
     operator: createOperatorLogic({ getConfiguration: () => states.control.configuration }),
@@ -185,7 +185,7 @@
     frontend: createGateLogic({
       now,
       drainMs: settings.drainMs,
-      handOverMs: HAND_OVER_MS,
+      handOverGraceMs: HAND_OVER_GRACE_MS,
       countOpen: () => states.requests.table.size,
     }),
   };
@@ -210,16 +210,16 @@
 
 const HASH_ALGORITHM = 'sha256';
 
-const hashText = (text: string): number =>
+const hashToUint32 = (text: string): number =>
   createHash(HASH_ALGORITHM).update(text).digest().readUInt32BE(0);
 
 const getUnreadyReason = (states: EntryStates): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
-  if (states.control.source === 'none') return 'the configuration was not read yet';
+  if (states.control.source === 'none') return 'the configuration has not been read yet';
   return states.membership.views.size === 0 ? 'no endpoint is known' : null;
 };
 
-const buildCallers = (cradle: EntryCradle): FastifyInstance => {
+const buildCallerServer = (cradle: EntryCradle): FastifyInstance => {
   const { settings, clock, responders, states } = cradle;
   const server = createCallerServer({
     settings,
@@ -288,10 +288,10 @@
 };
 
 /**
- * Wires the parts of an entry daemon.
+ * Builds the dependency container of an entry daemon.
  *
- * @param settings - checked settings
- * @param onEnd - called when the daemon wants its process to end
+ * @param settings - validated settings
+ * @param onEnd - called when the daemon has drained or failed, so that its process can end
  * @returns the container
  */
 export const wireEntryDaemon = (
@@ -304,21 +304,21 @@
     onEnd: asValue(onEnd),
     clock: asFunction(createSystemClock).singleton(),
     incarnation: asFunction(createId).singleton(),
-    // Each child publishes its state before anything reads it: they start in the declared order.
+    // Starts empty. Children start in the declared order, so each publishes its state before use.
     states: asValue({} as EntryStates),
-    events: asFunction(buildEvents).singleton(),
+    events: asFunction(buildEventLog).singleton(),
     metrics: asFunction(createMetrics).singleton(),
     responders: asFunction(createResponders).singleton(),
     tickets: asFunction(({ clock }: EntryCradle) =>
       createTicketIssuer(settings.ticketKey, clock),
     ).singleton(),
-    heartbeats: asFunction(buildHeartbeats).singleton(),
-    platform: asFunction(buildPlatform).singleton(),
-    endpoints: asFunction(buildEndpoints).singleton(),
+    heartbeats: asFunction(buildHeartbeatServer).singleton(),
+    platform: asFunction(buildPlatformAdapter).singleton(),
+    endpoints: asFunction(buildEndpointClient).singleton(),
     requestsInputs: asFunction(buildRequestsInputs).singleton(),
     logics: asFunction(buildLogics).singleton(),
     operatorReplies: asValue({ current: null }),
-    callers: asFunction(buildCallers).singleton(),
+    callers: asFunction(buildCallerServer).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
   });
   return container;
