Reword the core types and the assembly of the entry daemon

'Room may have opened', 'what the caller wants to see' and 'who waits' are free capacity, the form of the answer and the receiver of a result. Types of log batches and heartbeat replies have doc comments. main.ts names the promise of the end closed.

--- a/packages/entry/classify.ts
+++ b/packages/entry/classify.ts
@@ -3,10 +3,11 @@
 import type { QueueClass } from '../core/loop/types.js';
 
 /**
- * Classifies an event for the bounded queue: new requests are shed first, then endpoints' reports.
+ * Returns the class of an event in the bounded queue, which sheds new requests first, then reports
+ * of endpoints.
  *
  * @param event - event to queue
- * @returns its importance
+ * @returns the event's queue class
  */
 export const classifyEvent = (event: EntryEvent): QueueClass => {
   switch (event.kind) {
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -24,8 +24,11 @@
 /** Streams of the platform's log that entry daemons read and append to. */
 export type LogStream = 'control' | 'intents';
 
+/** Result of one read of a stream. */
 export interface LogBatch {
+  /** Oldest offset that the log retains. */
   readonly firstOffset: Offset;
+  /** Offset at which the next read starts. */
   readonly nextOffset: Offset;
   readonly records: readonly {
     readonly offset: Offset;
@@ -34,7 +37,7 @@
   }[];
 }
 
-/** Who waits for the answer to an append. */
+/** Receiver of the result of an append. */
 export type AppendOwner =
   | {
       readonly kind: 'intent';
@@ -54,7 +57,7 @@
     }
   | { readonly to: 'list'; readonly kind: 'list-failed'; readonly reason: string };
 
-/** Events of the reader of one stream. */
+/** Events of a child that reads one stream. */
 type ReadEvent<Child extends string> =
   | { readonly to: Child; readonly kind: 'read-ended'; readonly batch: LogBatch }
   | { readonly to: Child; readonly kind: 'read-failed'; readonly reason: string }
@@ -134,12 +137,12 @@
     }
   | { readonly to: 'requests'; readonly kind: 'intents-folded' }
   | { readonly to: 'requests'; readonly kind: 'retry-due'; readonly requestId: RequestId }
-  /** Room may have opened at an endpoint. */
+  /** An endpoint may have free capacity. */
   | {
       readonly to: 'requests';
       readonly kind: 'capacity-changed';
       readonly endpoint: EndpointId;
-      /** Instant by the own clock that the endpoint's last load report describes. */
+      /** Instant of the endpoint's latest load report, by the clock of this process. */
       readonly reportedAt: Millis;
     }
   | {
@@ -154,14 +157,14 @@
   | { readonly to: 'requests'; readonly kind: 'configuration-updated' }
   | { readonly to: 'requests'; readonly kind: 'drain-ended' };
 
-/** A record that was read back, by the nonce of its writer. */
+/** Result of folding a record, identified by the nonce that its writer chose. */
 export interface FoldedRecord {
   readonly nonce: string;
   readonly offset: Offset;
   readonly result: FoldResult;
 }
 
-/** Answer to an operator. */
+/** Outcome of an operator's record. */
 export type OperatorOutcome =
   | { readonly kind: 'in-force'; readonly offset: Offset }
   | { readonly kind: 'dry-run'; readonly change: ProposedChange }
@@ -233,7 +236,7 @@
       readonly className: string;
       readonly duration: Millis;
     }
-  /** Fails all open requests, whose state was lost with an earlier start of the child. */
+  /** Fails all open requests, because the `requests` child lost their state when it restarted. */
   | { readonly kind: 'reset-requests' }
   | { readonly kind: 'fetch-list' }
   | {
@@ -272,7 +275,7 @@
       readonly source: GenerationSource;
       readonly fromNumber: number;
       readonly chunks: readonly string[];
-      /** A stored answer is written at once, since its size is bounded. */
+      /** A `stored` answer is written without a backlog limit, because its size is bounded. */
       readonly pace: 'live' | 'stored';
     }
   | { readonly kind: 'finish-generation'; readonly requestId: RequestId; readonly usage: string }
@@ -293,14 +296,14 @@
   | {
       readonly kind: 'notify-operators';
       readonly notice: OperatorNotice;
-      /** Whether the result comes back as an event. */
+      /** Whether the result of the notice is posted as an event. */
       readonly report: 'wanted' | 'none';
     }
   | { readonly kind: 'end-process'; readonly left: number };
 
-/** What operators are told without having asked. */
+/** Notification that is sent to operators without a request of theirs. */
 export interface OperatorNotice {
-  /** The same whichever daemon sends the notice, so that its receiver can drop repetitions. */
+  /** The same whichever daemon sends the notice, so that the receiver can drop duplicates. */
   readonly id: string;
   readonly event: EventName;
   readonly entity: string;
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -2,19 +2,19 @@
 import type { EndReason } from './wiring.js';
 import type { EntrySettings } from '../settings/types.js';
 
-/** A daemon that serves until it is stopped. */
+/** Handle of a daemon that runs in this process. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
-  /** Drains and ends; resolves when nothing is left or the drain time is over. */
+  /** Drains and stops the daemon; resolves once nothing is open or the drain time has elapsed. */
   readonly stop: () => Promise<void>;
-  /** Resolves when the daemon ended, for whatever reason. */
+  /** Resolves when the daemon has ended for any reason. */
   readonly ended: Promise<EndReason>;
 }
 
 /**
  * Starts an entry daemon in this process.
  *
- * @param settings - checked settings
+ * @param settings - validated settings
  * @returns the running daemon
  */
 export const startEntryDaemon = async (settings: EntrySettings): Promise<RunningDaemon> => {
@@ -24,13 +24,13 @@
   });
   const { cradle } = wireEntryDaemon(settings, resolveEnded);
   const { daemon, callers, heartbeats, events } = cradle;
-  // The tree runs before the first address is open, since every arrival is an event for it.
+  // The supervisor tree starts before the servers listen, because each request is an event for it.
   daemon.start();
   const rpc = await heartbeats.listen(settings.rpc.host, settings.rpc.port);
   const http = await callers.listen({ host: settings.callers.host, port: settings.callers.port });
   events.record('daemon-started', { data: { rpc, http } });
 
-  const close = ended.then(async (reason) => {
+  const closed = ended.then(async (reason) => {
     const left = reason.kind === 'drained' ? reason.left : 0;
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     daemon.stop();
@@ -45,8 +45,8 @@
     urls: { callers: http, rpc },
     stop: async () => {
       daemon.loop.post({ to: 'frontend', kind: 'drain-started', reason: 'stop requested' });
-      await close;
+      await closed;
     },
-    ended: close,
+    ended: closed,
   };
 };
--- a/packages/entry/supervisor.ts
+++ b/packages/entry/supervisor.ts
@@ -20,7 +20,7 @@
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import type { ChildFailure, ChildLogic, SupervisorSpec } from '../core/supervision/types.js';
 
-/** Read-only views of the children's states, published after each of their steps. */
+/** Latest state of each child, published after each of its steps. Readers must not modify it. */
 export interface EntryStates extends PlatformStates {
   membership: MembershipState;
   requests: RequestsState;
@@ -29,7 +29,7 @@
   frontend: GateState;
 }
 
-/** Decisions of each child. */
+/** Decision logic of each child. */
 export interface EntryLogics extends PlatformLogics {
   readonly membership: ChildLogic<MembershipState, MembershipEvent, EntryEffect>;
   readonly requests: ChildLogic<RequestsState, RequestsEvent, EntryEffect>;
@@ -61,12 +61,12 @@
 /**
  * Describes the root supervisor of an entry daemon.
  *
- * The platform and the membership come before the requests that read them, and the frontend comes
- * last, so that no request is let in before the rest runs.
+ * `platform` and `membership` start before `requests`, which reads their states. `frontend` starts
+ * last, so that no request is admitted before the other children run.
  *
- * @param logics - decisions of the children
+ * @param logics - decision logic of the children
  * @param states - receives each new state
- * @param clock - time of restarts
+ * @param clock - clock that times the restarts
  * @param onFailure - receives failures of children at any depth
  * @returns the supervisor's specification
  */
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -17,18 +17,18 @@
   readonly value: string;
 }
 
-/** Fields that every request of a caller has. */
+/** Fields that all requests of callers have in common. */
 interface CallerRequestBase {
   readonly requestId: RequestId;
   readonly customer: CustomerId;
-  /** Class that the caller named, or null for the default. */
+  /** Class that the caller requested, or null for the default. */
   readonly className: ClassName | null;
   readonly receivedAt: Millis;
-  /** Hash of the content, the same when the caller sends the request again. */
+  /** Hash of the content, the same for each retry of the request by its caller. */
   readonly fingerprint: string;
 }
 
-/** What the caller wants to see of a generation. */
+/** Form in which the caller receives a generation. */
 export type AnswerForm =
   { readonly kind: 'whole' } | { readonly kind: 'stream'; readonly usage: 'included' | 'left-out' };
 
@@ -45,7 +45,7 @@
   readonly keyIssuedAt: Millis | null;
 }
 
-/** A caller that goes on with a stream after it lost its connection. */
+/** Request to resume a stream whose connection was lost. */
 export interface ResumeRequest extends CallerRequestBase {
   readonly kind: 'resume';
   readonly generationId: GenerationId;
@@ -76,20 +76,20 @@
   readonly body: Uint8Array;
 }
 
-/** Version that a move chooses for a request. */
+/** Version of the model that a move selects for a request. */
 export interface VersionChoice {
   readonly version: VersionName;
-  /** Version to use when no endpoint of the chosen one takes work; null when the request waits. */
+  /** Version to use when no endpoint of `version` accepts work; null when the request waits. */
   readonly otherwise: VersionName | null;
 }
 
-/** A heartbeat as it arrived from an endpoint daemon. */
+/** Decoded heartbeat of an endpoint daemon. */
 export interface ReceivedHeartbeat {
   readonly endpoint: EndpointId;
   readonly instance: string;
   readonly dataCentre: DataCentreId;
   readonly incarnation: Incarnation;
-  /** Start identity of the engine or service itself. */
+  /** Start identity of the engine or service that the endpoint daemon serves. */
   readonly engineStart: string;
   readonly sequence: number;
   readonly phase: string;
@@ -115,7 +115,7 @@
   readonly configurationOffset: Offset;
 }
 
-/** Cumulative counters of one route and class since an endpoint daemon started. */
+/** Cumulative counters of one route and class since the start of an endpoint daemon. */
 export interface EvidenceCounters {
   readonly route: string;
   readonly className: ClassName;
@@ -127,7 +127,7 @@
   readonly tokenGaps: number;
 }
 
-/** One instance of the platform's list. */
+/** Instance in the platform's instance list. */
 export interface ListedInstance {
   readonly id: string;
   readonly role: 'entry' | 'endpoint';
@@ -137,6 +137,7 @@
   readonly httpUrl: string;
 }
 
+/** Answer to a heartbeat: the lease, and the configuration that the endpoint daemon lacks. */
 export interface HeartbeatReply {
   readonly watermark: Offset;
   readonly records: readonly {
