Name error messages as such in the entry daemon's front end

'text' held the message of a failure and is named message now. Fields of a request that the code derives (estimated prompt tokens, prefix hash, last chunk number, route class) have a comment. The comment of CHAT_ROUTE says that shares are decided per route, which it only implied.

--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -123,8 +123,8 @@
     const verified = verifyEventId(eventId, settings.ticketKey, clock.now());
     if (verified.isErr() || verified.value.ticket.customer !== customer.id) {
       const reason = verified.isErr() ? verified.error : 'of another customer';
-      const text = `Last-Event-ID is ${reason}`;
-      return Err(toResumeRefusal(createFailure('not-run', 'bad-request', text)));
+      const message = `Last-Event-ID is ${reason}`;
+      return Err(toResumeRefusal(createFailure('not-run', 'bad-request', message)));
     }
     const { ticket, lastNumber } = verified.value;
     return Ok({
@@ -202,8 +202,8 @@
   server.all('/services/:name/*', handleService);
 
   server.setNotFoundHandler((request, reply) => {
-    const text = `no such path: ${request.method} ${request.url}`;
-    const failure = createFailure('not-run', 'unknown-service', text);
+    const message = `no such path: ${request.method} ${request.url}`;
+    const failure = createFailure('not-run', 'unknown-service', message);
     return sendProblem(reply, readRequestId(request), failure);
   });
   server.setErrorHandler((error: FastifyError, request, reply) => {
@@ -216,8 +216,8 @@
 
 const toRequestFailure = (error: FastifyError, maxBodyBytes: number): Failure => {
   if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
-    const text = `body: it is larger than ${maxBodyBytes.toString()} bytes`;
-    return createFailure('not-run', 'too-large', text);
+    const message = `body: it is larger than ${maxBodyBytes.toString()} bytes`;
+    return createFailure('not-run', 'too-large', message);
   }
   const isClientError = error.statusCode !== undefined && error.statusCode < 500;
   return createFailure('not-run', isClientError ? 'bad-request' : 'internal', error.message);
@@ -228,8 +228,8 @@
   reply: FastifyReply,
   requestId: string,
 ): FastifyReply => {
-  const text = 'Authorization: the bearer key is missing or unknown';
-  const failure = createFailure('not-run', 'unauthorized', text);
+  const message = 'Authorization: the bearer key is missing or unknown';
+  const failure = createFailure('not-run', 'unauthorized', message);
   return sendProblem(reply, requestId, isResume(request) ? toResumeRefusal(failure) : failure);
 };
 
--- a/packages/entry/frontend/idempotencyKey.ts
+++ b/packages/entry/frontend/idempotencyKey.ts
@@ -27,8 +27,8 @@
 /** Without an offset, daemons in different time zones would read the same time differently. */
 const isoDate = z.union([z.iso.date(), z.iso.datetime({ offset: true })]);
 
-const refuse = (text: string): Result<never, Failure> =>
-  Err(createFailure('not-run', 'bad-request', text));
+const refuse = (message: string): Result<never, Failure> =>
+  Err(createFailure('not-run', 'bad-request', message));
 
 const parseTime = (header: string): Result<Millis, Failure> => {
   if (MILLIS_SINCE_EPOCH.test(header)) return Ok(Number(header));
--- a/packages/entry/frontend/requestBody.ts
+++ b/packages/entry/frontend/requestBody.ts
@@ -53,8 +53,8 @@
   const parsed = bodySchema.safeParse(json.value);
   if (!parsed.success) {
     const issue = parsed.error.issues[0];
-    const text = `body: field "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'invalid'}`;
-    return Err(createFailure('not-run', 'bad-request', text));
+    const message = `body: field "${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'invalid'}`;
+    return Err(createFailure('not-run', 'bad-request', message));
   }
   const { model, messages, stream, stream_options: options } = parsed.data;
   const contents = listContents(messages);
--- a/packages/entry/frontend/serviceRoutes.ts
+++ b/packages/entry/frontend/serviceRoutes.ts
@@ -40,8 +40,8 @@
     (candidate) => candidate.method === method && isMatch(candidate.path, path),
   );
   if (route === undefined) {
-    const text = `service ${name} has no route ${method} ${path}`;
-    return Err(createFailure('not-run', 'unknown-service', text));
+    const message = `service ${name} has no route ${method} ${path}`;
+    return Err(createFailure('not-run', 'unknown-service', message));
   }
   return Ok(route);
 };
--- a/packages/entry/moves/moveNotices.ts
+++ b/packages/entry/moves/moveNotices.ts
@@ -15,7 +15,7 @@
   readonly hash: (text: string) => number;
 }
 
-/** Number of values of `hash`. */
+/** Number of distinct values that `hash` returns. */
 const HASH_VALUES = 2 ** 32;
 
 const toEndedMove = (view: MoveView): EndedMove | null => {
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -43,8 +43,8 @@
 type MovesStep = Step<MovesState, EntryEffect>;
 
 /**
- * Route of all generations. Services have several routes, because a fault on one does not show on
- * the others.
+ * Route of all generations. Shares are decided per route, because a fault on one route of a service
+ * does not show on the others.
  */
 export const CHAT_ROUTE = 'chat';
 
--- a/packages/entry/operator/operator.ts
+++ b/packages/entry/operator/operator.ts
@@ -174,8 +174,8 @@
     }
     case 'void': {
       if (result.winner !== null) return buildLostReply(operationId, known.author, result.winner);
-      const text = 'the entity that the record is based on is no longer in force';
-      const failure = createFailure('not-run', 'lost-race', text);
+      const message = 'the entity that the record is based on is no longer in force';
+      const failure = createFailure('not-run', 'lost-race', message);
       return [buildReply(operationId, { kind: 'failed', failure })];
     }
     case 'snapshot':
@@ -204,8 +204,8 @@
 const expireOperation = (state: OperatorState, operationId: string): OperatorStep => {
   const known = state.pending.get(operationId);
   if (known === undefined) return toStep(state);
-  const text = 'the record was not read back from the log in time; it may still take effect';
-  const failure = createFailure('may-have-run', 'log-unavailable', text);
+  const message = 'the record was not read back from the log in time; it may still take effect';
+  const failure = createFailure('may-have-run', 'log-unavailable', message);
   return refuse(removePending(state, operationId), operationId, known.author, failure);
 };
 
--- a/packages/entry/operator/operatorRoutes.ts
+++ b/packages/entry/operator/operatorRoutes.ts
@@ -62,8 +62,8 @@
       return;
     case 'lost': {
       const { winner } = outcome;
-      const text = `${winner.author} changed it at offset ${winner.offset.toString()}`;
-      sendFailure(reply, createFailure('not-run', 'lost-race', text), { winner });
+      const message = `${winner.author} changed it at offset ${winner.offset.toString()}`;
+      sendFailure(reply, createFailure('not-run', 'lost-race', message), { winner });
       return;
     }
     case 'failed':
@@ -91,8 +91,8 @@
   const findOperator = (request: FastifyRequest, reply: FastifyReply): Operator | undefined => {
     const operator = operators.findHolder(request.headers.authorization);
     if (operator === undefined) {
-      const text = 'Authorization: the operator key is missing or unknown';
-      sendFailure(reply, createFailure('not-run', 'unauthorized', text));
+      const message = 'Authorization: the operator key is missing or unknown';
+      sendFailure(reply, createFailure('not-run', 'unauthorized', message));
     }
     return operator;
   };
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -36,8 +36,11 @@
   readonly kind: 'generation';
   readonly model: ModelName;
   readonly form: AnswerForm;
+  /** Estimated number of tokens in the prompt. */
   readonly promptTokens: number;
+  /** Limit on the output that the caller set, or null. */
   readonly maxTokens: number | null;
+  /** Hash that identifies the cached prefix of the prompt. */
   readonly prefix: string;
   /** JSON body for the engine. */
   readonly body: Uint8Array;
@@ -51,6 +54,7 @@
   readonly generationId: GenerationId;
   readonly endpoint: EndpointId;
   readonly incarnation: Incarnation;
+  /** Number of the last chunk that the caller received. */
   readonly lastNumber: number;
 }
 
@@ -62,7 +66,9 @@
   readonly path: string;
   readonly headers: readonly HeaderField[];
   readonly body: Uint8Array;
+  /** Whether the call may run more than once. */
   readonly repeat: 'allowed' | 'never';
+  /** Class of the route, or null when the route has none. */
   readonly routeClass: ClassName | null;
   readonly key: string | null;
   readonly keyIssuedAt: Millis | null;
