Rename the symbols of the requests of the entry daemon to terms of the field

The old names were private to the project or did not say what the code holds.

- kept -> keyCounts
- findReport -> findHeartbeat
- getCustomerDefault -> getDefaultClass
- policy -> placementPolicy
- FenceQuestion -> FenceCommand

--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -1,5 +1,5 @@
 import type {
-  FenceQuestion,
+  FenceCommand,
   EndpointCompletion,
   OpenCall,
   OpenGeneration,
@@ -266,7 +266,7 @@
       readonly incarnation: Incarnation;
     }
   | { readonly kind: 'call-endpoint'; readonly call: OpenCall }
-  | { readonly kind: 'fence-nonce'; readonly question: FenceQuestion }
+  | { readonly kind: 'fence-nonce'; readonly question: FenceCommand }
   | {
       readonly kind: 'write-chunks';
       readonly requestId: RequestId;
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -8,7 +8,7 @@
   EndpointClient,
   EndpointCompletion,
   FenceAnswer,
-  FenceQuestion,
+  FenceCommand,
   LinkKey,
   OpenCall,
   OpenGeneration,
@@ -263,7 +263,7 @@
     }
   };
 
-  const sendFence = async (command: FenceQuestion): Promise<void> => {
+  const sendFence = async (command: FenceCommand): Promise<void> => {
     const { requestId, nonce, incarnation } = command;
     const client = connect(command.url);
     try {
--- a/packages/entry/requests/endpointMessages.ts
+++ b/packages/entry/requests/endpointMessages.ts
@@ -45,7 +45,7 @@
   readonly fingerprint: string;
 }
 
-export interface FenceQuestion {
+export interface FenceCommand {
   readonly url: string;
   readonly requestId: RequestId;
   readonly nonce: string;
@@ -110,6 +110,6 @@
     incarnation: Incarnation,
   ) => void;
   readonly callEndpoint: (call: OpenCall) => void;
-  readonly fenceNonce: (command: FenceQuestion) => void;
+  readonly fenceNonce: (command: FenceCommand) => void;
   readonly close: () => void;
 }
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -139,7 +139,7 @@
 ): GenerationStep => {
   const { generationId, endpoint, incarnation, lastNumber } = request;
   const view = inputs.listEndpoints().find((candidate) => candidate.endpoint === endpoint);
-  const url = inputs.findReport(endpoint)?.rpcUrl;
+  const url = inputs.findHeartbeat(endpoint)?.rpcUrl;
   const source: GenerationSource = { generationId, endpoint, incarnation };
   const resumed = resumeDelivery(source, lastNumber + 1);
   const state: GenerationState = {
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -18,7 +18,7 @@
   readonly process: string;
   readonly dataCentre: string;
   readonly models: readonly ModelName[];
-  readonly policy: PlacementPolicy;
+  readonly placementPolicy: PlacementPolicy;
   readonly limits: {
     readonly maxRequests: number;
     readonly queueCapacity: number;
@@ -26,14 +26,14 @@
     readonly maxUntimedKeys: number;
     readonly maxTimedKeys: number;
   };
-  readonly getCustomerDefault: (customer: CustomerId) => ClassName | undefined;
+  readonly getDefaultClass: (customer: CustomerId) => ClassName | undefined;
   /** Quarantined fingerprints with the time at which each expires. */
   readonly getQuarantined: () => ReadonlyMap<string, Millis>;
   readonly getClasses: () => ReadonlyMap<ClassName, ClassPolicy>;
   /** Endpoints with their current phase. */
   readonly listEndpoints: () => readonly EndpointView[];
   /** Newest heartbeat of an endpoint; undefined for an endpoint that sent none. */
-  readonly findReport: (endpoint: string) => ReceivedHeartbeat | undefined;
+  readonly findHeartbeat: (endpoint: string) => ReceivedHeartbeat | undefined;
   readonly getCustomerWeight: (customer: CustomerId) => number;
   /** Version that a move selects for a request; null when any version may serve it. */
   readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionChoice | null;
@@ -44,8 +44,8 @@
     readonly log: 'up' | 'out';
     readonly standing: TableStanding;
     readonly nextOffset: number;
-    readonly kept: KeyCounts;
+    readonly keyCounts: KeyCounts;
   };
-  readonly own: PlacementTable;
+  readonly placements: PlacementTable;
   readonly survival: SurvivalTable;
 }
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -74,7 +74,7 @@
 };
 
 const toIntentView = (state: KeyedState, inputs: RequestsInputs): IntentView => {
-  const { log, standing, nextOffset, kept: counts } = inputs.getIntentLog();
+  const { log, standing, nextOffset, keyCounts: counts } = inputs.getIntentLog();
   return {
     now: inputs.now(),
     log,
@@ -124,7 +124,7 @@
   effect: Extract<IntentEffect, { readonly kind: 'dispatch' }>,
   inputs: RequestsInputs,
 ): RequestStep => {
-  const url = inputs.findReport(effect.endpoint)?.rpcUrl;
+  const url = inputs.findHeartbeat(effect.endpoint)?.rpcUrl;
   if (url === undefined || state.placement === null) {
     const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
     const result = { kind: 'refused', failure } as const;
@@ -164,7 +164,7 @@
 ): RequestStep => {
   const { endpoint, incarnation, nonce } = effect;
   const { requestId } = state.request;
-  const url = inputs.findReport(endpoint)?.rpcUrl;
+  const url = inputs.findHeartbeat(endpoint)?.rpcUrl;
   if (url === undefined) {
     const result = { kind: 'unreachable' } as const;
     return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -51,7 +51,7 @@
     now: () => clock.now,
     process: 'entry-1',
     createId: () => 'id',
-    own: { releasePlacement: handleNothing, updateProgress: handleNothing },
+    placements: { releasePlacement: handleNothing, updateProgress: handleNothing },
     suspicions: { apply: handleNothing },
     budgets: { get: () => ({ retries: 1, updatedAt: 0 }), update: handleNothing },
     survival: { observeFinished: handleNothing },
--- a/packages/entry/requests/links.ts
+++ b/packages/entry/requests/links.ts
@@ -71,7 +71,7 @@
   const now = inputs.now();
   const { className, stallMs } = state.policy;
   const next = { ...state, firstChunkAt: state.firstChunkAt ?? now, lastChunkAt: now };
-  inputs.own.updateProgress(state.request.requestId, state.delivery.next + count);
+  inputs.placements.updateProgress(state.request.requestId, state.delivery.next + count);
   if (state.lastChunkAt === null) {
     const duration = now - state.request.receivedAt;
     return {
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -11,7 +11,7 @@
   now: () => 0,
   random: { next: () => 0 },
   budgets: createBudgetTable(),
-  own: { releasePlacement: () => undefined },
+  placements: { releasePlacement: () => undefined },
   suspicions: { apply: () => [] },
 } as unknown as RequestsInputs;
 
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -100,7 +100,7 @@
   inputs: RequestsInputs,
 ): void => {
   const { requestId } = state.request;
-  inputs.own.releasePlacement(requestId, inputs.now());
+  inputs.placements.releasePlacement(requestId, inputs.now());
   inputs.suspicions.apply({ kind: 'attempt-ended', requestId, outcome });
 };
 
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -124,7 +124,7 @@
 ): void => {
   const { request, policy } = state;
   const { requestId, fingerprint } = request;
-  inputs.own.trackPlacement({
+  inputs.placements.trackPlacement({
     requestId,
     endpoint: placement.endpoint,
     className: policy.className,
@@ -150,7 +150,7 @@
   view: EndpointView | undefined,
   inputs: RequestsInputs,
 ): PlacementResult => {
-  const heartbeat = inputs.findReport(decision.endpoint);
+  const heartbeat = inputs.findHeartbeat(decision.endpoint);
   if (view === undefined || heartbeat === undefined) {
     return { kind: 'wait', reason: 'the chosen endpoint has no address yet' };
   }
@@ -175,10 +175,10 @@
 ): PlacementDecision => {
   const decide = (target: PlacementTarget): PlacementDecision =>
     choosePlacement(
-      inputs.policy,
+      inputs.placementPolicy,
       toPlacementRequest(state, target, inputs),
       endpoints,
-      inputs.own,
+      inputs.placements,
       inputs.survival,
       inputs.random,
     );
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -102,7 +102,7 @@
   const { inputs } = context;
   const refusal = checkArrival(request, context);
   if (refusal !== null) return refuseArrival(request, refusal);
-  const customerDefault = inputs.getCustomerDefault(request.customer);
+  const customerDefault = inputs.getDefaultClass(request.customer);
   const found = findClass(request, customerDefault, inputs.getClasses());
   if (found.kind === 'unknown') {
     const text = `X-Chestnutspan-Class: no class is called ${found.className}`;
@@ -181,7 +181,7 @@
 ): Effects => {
   const { inputs } = context;
   const { endpoint, incarnation, engineStart } = event;
-  inputs.own.removeEndpoint(endpoint);
+  inputs.placements.removeEndpoint(endpoint);
   inputs.suspicions.apply({
     kind: 'endpoint-lost',
     cause: 'lost',
@@ -286,7 +286,7 @@
     case 'configuration-updated':
       return handleConfiguration(context);
     case 'capacity-changed':
-      inputs.own.applyLoadReport(event.endpoint, event.reportedAt);
+      inputs.placements.applyLoadReport(event.endpoint, event.reportedAt);
       return drainQueue(context);
     case 'endpoint-lost':
       return handleEndpointLost(event, context);
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -59,10 +59,10 @@
 const recordRefusal = (state: RequestState, failure: Failure, inputs: RequestsInputs): void => {
   const { placement, policy } = state;
   if (placement === null || failure.code !== 'overloaded') return;
-  const heartbeat = inputs.findReport(placement.endpoint);
+  const heartbeat = inputs.findHeartbeat(placement.endpoint);
   if (heartbeat === undefined) return;
   const count = computeClassLimit(heartbeat.load.limit, policy);
-  inputs.own.recordRefusal(placement.endpoint, count, inputs.now());
+  inputs.placements.recordRefusal(placement.endpoint, count, inputs.now());
 };
 
 /**
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -131,12 +131,12 @@
     process: settings.process,
     dataCentre: settings.dataCentre,
     models: settings.models,
-    policy: settings.policy,
+    placementPolicy: settings.policy,
     limits: settings.limits,
-    getCustomerDefault: (customer) => customers.get(customer)?.defaultClass,
+    getDefaultClass: (customer) => customers.get(customer)?.defaultClass,
     getClasses: () => states.control.view.classes,
     listEndpoints: () => listViews(states.membership, clock.now()),
-    findReport: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report,
+    findHeartbeat: (endpoint) => states.membership.table.endpoints.get(endpoint)?.newest?.report,
     getCustomerWeight: (customer) => customers.get(customer)?.weight ?? 1,
     chooseVersion: (model, requestId) =>
       chooseMoveVersion(states.moves, model, requestId, hashToUint32),
@@ -147,9 +147,9 @@
     getIntentLog: () => {
       const { table, log } = states.intents;
       const { standing, nextOffset } = table;
-      return { log, standing, nextOffset, kept: countKeys(table) };
+      return { log, standing, nextOffset, keyCounts: countKeys(table) };
     },
-    own: createPlacementTable(survival),
+    placements: createPlacementTable(survival),
     survival,
   };
 };
