Rename the symbols of the entry daemon beside its requests to terms of the field

The old names were private to the project or did not say what the code holds.

- otherwise -> fallback
- otherwise -> fallback
- otherwise -> fallback
- of -> recordKind
- question -> fence
- question -> fence
- CARRY_AFTER_MS -> CARRY_FORWARD_AGE_MS

--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -42,7 +42,7 @@
   | {
       readonly kind: 'intent';
       readonly requestId: RequestId;
-      readonly of: ChainRecord['kind'];
+      readonly recordKind: ChainRecord['kind'];
       readonly nonce: string;
     }
   | { readonly kind: 'operator'; readonly operationId: string }
@@ -266,7 +266,7 @@
       readonly incarnation: Incarnation;
     }
   | { readonly kind: 'call-endpoint'; readonly call: OpenCall }
-  | { readonly kind: 'fence-nonce'; readonly question: FenceCommand }
+  | { readonly kind: 'fence-nonce'; readonly fence: FenceCommand }
   | {
       readonly kind: 'write-chunks';
       readonly requestId: RequestId;
--- a/packages/entry/moves/moves.test.ts
+++ b/packages/entry/moves/moves.test.ts
@@ -111,7 +111,7 @@
 // Guards against requests that wait for a new version without endpoints, and against a new version
 // that gets more than its share when the old one has no endpoint.
 test('only the new version has a fallback', (t) => {
-  t.deepEqual(watchFaults().chosen, { version: 'v2', otherwise: 'v1' });
+  t.deepEqual(watchFaults().chosen, { version: 'v2', fallback: 'v1' });
   const logic = createMovesLogic({
     now: () => NOW,
     createId: () => 'nonce',
@@ -127,6 +127,6 @@
   const largest = 2 ** 32 - 1;
   t.deepEqual(
     chooseMoveVersion(state, 'm', 'request-1', () => largest),
-    { version: 'v1', otherwise: null },
+    { version: 'v1', fallback: null },
   );
 });
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -285,7 +285,7 @@
   const side = chooseVersion(getNewVersionShare(newest.state, CHAT_ROUTE), hash(requestId));
   const { from, to } = newest.view;
   // A fallback from the old to the new version would give the new one more than its share.
-  return side === 'new' ? { version: to, otherwise: from } : { version: from, otherwise: null };
+  return side === 'new' ? { version: to, fallback: from } : { version: from, fallback: null };
 };
 
 /**
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -120,7 +120,7 @@
       endpoints.callEndpoint(effect.call);
       return;
     case 'fence-nonce':
-      endpoints.fenceNonce(effect.question);
+      endpoints.fenceNonce(effect.fence);
       return;
     case 'write-chunks':
       writeChunks(effect, adapters);
--- a/packages/entry/platform/constants.ts
+++ b/packages/entry/platform/constants.ts
@@ -25,7 +25,7 @@
 export const UPKEEP_MS = 5_000;
 
 /** Age at which a chain is carried forward, measured at the oldest record that the chain needs. */
-export const CARRY_AFTER_MS = 3_600_000;
+export const CARRY_FORWARD_AGE_MS = 3_600_000;
 
 /** Timeout of one request to the log, excluding the wait of a long poll. */
 export const LOG_TIMEOUT_MS = 2_000;
--- a/packages/entry/platform/intents/intents.ts
+++ b/packages/entry/platform/intents/intents.ts
@@ -15,7 +15,7 @@
 import type { IntentStreamRecord, KeySettings } from '../../../decisions/idempotency/types.js';
 import type { EntryEffect, IntentsEvent, LogBatch } from '../../events.js';
 import {
-  CARRY_AFTER_MS,
+  CARRY_FORWARD_AGE_MS,
   READ_LIMIT,
   READ_RETRY_MS,
   READ_WAIT_MS,
@@ -112,7 +112,7 @@
   const carried = planCarryForward(state.table, {
     firstOffset,
     now,
-    carryAfterMs: CARRY_AFTER_MS,
+    carryAfterMs: CARRY_FORWARD_AGE_MS,
     maxRecords: plan.maxCarried,
   });
   const appends = carried.map((record): EntryEffect => ({
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyed.ts
@@ -171,7 +171,7 @@
   }
   return toStep<KeyedState, EntryEffect>(state, {
     kind: 'fence-nonce',
-    question: { url, requestId, nonce, incarnation },
+    fence: { url, requestId, nonce, incarnation },
   });
 };
 
@@ -197,7 +197,7 @@
       kind: 'append-requested',
       stream: 'intents',
       record,
-      owner: { kind: 'intent', requestId, of: record.kind, nonce: record.nonce },
+      owner: { kind: 'intent', requestId, recordKind: record.kind, nonce: record.nonce },
     },
   }));
   const logged = effect.records.map((record): EntryEffect => ({
--- a/packages/entry/requests/placing.ts
+++ b/packages/entry/requests/placing.ts
@@ -44,7 +44,7 @@
       const choice = inputs.chooseVersion(request.model, request.requestId);
       const target = { kind: 'model', model: request.model } as const;
       if (choice === null) return [target];
-      const versions = [choice.version, ...(choice.otherwise === null ? [] : [choice.otherwise])];
+      const versions = [choice.version, ...(choice.fallback === null ? [] : [choice.fallback])];
       return versions.map((version) => ({ ...target, version }));
     }
     case 'service':
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -271,7 +271,7 @@
       );
     }
     case 'append-ended': {
-      const { requestId, of, nonce } = event.owner;
+      const { requestId, recordKind: of, nonce } = event.owner;
       const ended = { kind: 'append-answered', of, nonce, result: event.result } as const;
       return updateRequest(context, requestId, (state) =>
         state.kind === 'keyed' ? applyIntent(state, ended, inputs) : toStep(state),
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -86,7 +86,7 @@
 export interface VersionChoice {
   readonly version: VersionName;
   /** Version to use when no endpoint of `version` accepts work; null when the request waits. */
-  readonly otherwise: VersionName | null;
+  readonly fallback: VersionName | null;
 }
 
 /** Decoded heartbeat of an endpoint daemon. */
