Reword the quarantine of requests that crash endpoints

Comments said what is suspected, who asks again and which requests ran well or alone. They now speak of incarnations, suspects, held requests and isolation. EndpointStart is EndpointIncarnation, tried is completed, alone and aloneEndpoint are isolatedRequest and isolationEndpoint, and the constants say what they bound. One refusal message now says 'run in isolation' instead of 'run alone'.

--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -1,35 +1,41 @@
-/** Crashes with one fingerprint after which it is quarantined. */
+/** Lost endpoint incarnations after which a fingerprint that was in flight is quarantined. */
 export const CRASHES_TO_QUARANTINE = 2;
 
-/** Time for which a quarantine holds; a repaired engine may run the request after it. */
-export const QUARANTINE_MS = 3_600_000;
+/** Duration of a quarantine. Afterwards the request may run again, on a repaired engine. */
+export const QUARANTINE_DURATION_MS = 3_600_000;
 
-/** Time after which a suspect that never ran again is forgotten. */
-export const SUSPECT_MS = 600_000;
+/** Time after its newest loss at which a suspect that is not in flight is cleared. */
+export const SUSPECT_TTL_MS = 600_000;
 
 /**
- * Endpoints on which an untried fingerprint may run at a time; each of them may crash before the
- * first crash is known, so it equals the crashes that are tolerated.
+ * Maximum number of endpoints that run a fingerprint at once before one of its requests completed.
+ * All of them may crash before the first crash is known, so it equals the tolerated crashes.
  */
-export const UNTRIED_ENDPOINTS = 2;
+export const MAX_ENDPOINTS_BEFORE_COMPLETION = 2;
 
-/** Endpoints lost within the window below that point to a rack, a switch or a data centre. */
-export const CORRELATED_LOSSES = 3;
+/**
+ * Minimum number of endpoints lost within `CORRELATED_WINDOW_MS` that indicates the failure of a
+ * rack, a switch or a data centre.
+ */
+export const MIN_CORRELATED_LOSSES = 3;
 
-/** Covers the spread of the gone timers of endpoints that were lost together. */
+/** Covers the spread of the silence timeouts of endpoints that were lost at the same time. */
 export const CORRELATED_WINDOW_MS = 3_000;
 
-/** Suspects kept; a crash adds as many as the endpoint ran at once. */
+/** Maximum number of suspects; one crash adds every fingerprint in flight at the endpoint. */
 export const MAX_SUSPECTS = 4_096;
 
-/** Quarantined fingerprints kept; above the bound the oldest one is dropped. */
+/** Maximum number of quarantined fingerprints; beyond it the oldest one is dropped. */
 export const MAX_QUARANTINED = 10_000;
 
-/** Fingerprints kept that ran well; a forgotten one only counts as untried again. */
-export const MAX_TRIED = 50_000;
+/**
+ * Maximum number of completed fingerprints. A dropped one is again limited to
+ * `MAX_ENDPOINTS_BEFORE_COMPLETION` until one of its requests completes.
+ */
+export const MAX_COMPLETED = 50_000;
 
-/** Requests that may wait for their turn to run alone; more are refused. */
-export const MAX_HELD = 256;
+/** Maximum number of requests that wait to run in isolation; more are refused. */
+export const MAX_HELD_REQUESTS = 256;
 
-/** Interval after which an append to the log that was not read back is asked for again. */
-export const APPEND_AGAIN_MS = 5_000;
+/** Time after which the append of a quarantine record that was not read back is requested again. */
+export const APPEND_RETRY_MS = 5_000;
--- a/packages/decisions/quarantine/inFlight.ts
+++ b/packages/decisions/quarantine/inFlight.ts
@@ -1,13 +1,13 @@
-import type { Attempt, EndpointStart, Fingerprint, SuspicionState } from './types.js';
+import type { Attempt, EndpointIncarnation, Fingerprint, SuspicionState } from './types.js';
 import type { EndpointId, RequestId } from '../../core/ids.js';
 
 /**
- * Formats the identity of one endpoint start.
+ * Formats the identity of an endpoint incarnation.
  *
  * @param start - endpoint and incarnation
- * @returns a key for tables
+ * @returns `endpoint@incarnation`, a key for tables
  */
-export const formatStart = ({ endpoint, incarnation }: EndpointStart): string =>
+export const formatEndpointIncarnation = ({ endpoint, incarnation }: EndpointIncarnation): string =>
   `${endpoint}@${incarnation}`;
 
 const addTo = (table: Map<string, Set<RequestId>>, key: string, requestId: RequestId): void => {
@@ -27,16 +27,17 @@
 };
 
 /**
- * Records an attempt as in flight; a request has one attempt at a time.
+ * Adds an attempt to the tables. It replaces the request's earlier attempt, since a request has one
+ * attempt at a time.
  *
  * @param state - tables to update
- * @param attempt - the attempt that starts
+ * @param attempt - attempt that starts
  */
 export const addAttempt = (state: SuspicionState, attempt: Attempt): void => {
   removeAttempt(state, attempt.requestId);
   state.attempts.set(attempt.requestId, attempt);
   addTo(state.byFingerprint, attempt.fingerprint, attempt.requestId);
-  addTo(state.byEndpoint, formatStart(attempt), attempt.requestId);
+  addTo(state.byEndpoint, formatEndpointIncarnation(attempt), attempt.requestId);
 };
 
 /**
@@ -51,27 +52,30 @@
   if (attempt === undefined) return undefined;
   state.attempts.delete(requestId);
   removeFrom(state.byFingerprint, attempt.fingerprint, requestId);
-  removeFrom(state.byEndpoint, formatStart(attempt), requestId);
+  removeFrom(state.byEndpoint, formatEndpointIncarnation(attempt), requestId);
   return attempt;
 };
 
 /**
- * Lists the attempts in flight at one endpoint start.
+ * Lists the attempts in flight at one endpoint incarnation.
  *
- * @param state - tables
- * @param start - endpoint and incarnation
+ * @param state - tables to read
+ * @param endpointIncarnation - endpoint and incarnation
  * @returns the attempts
  */
-export const listAttemptsAt = (state: SuspicionState, start: EndpointStart): readonly Attempt[] =>
-  [...(state.byEndpoint.get(formatStart(start)) ?? [])]
+export const listAttemptsAt = (
+  state: SuspicionState,
+  endpointIncarnation: EndpointIncarnation,
+): readonly Attempt[] =>
+  [...(state.byEndpoint.get(formatEndpointIncarnation(endpointIncarnation)) ?? [])]
     .map((requestId) => state.attempts.get(requestId))
     .filter((attempt) => attempt !== undefined);
 
 /**
- * Lists the endpoints on which a fingerprint runs.
+ * Lists the endpoints at which a fingerprint is in flight.
  *
- * @param state - tables
- * @param fingerprint - content of the requests
+ * @param state - tables to read
+ * @param fingerprint - hash of the requests' content
  * @returns each endpoint once
  */
 export const listEndpointsOf = (
--- a/packages/decisions/quarantine/suspicion.test.ts
+++ b/packages/decisions/quarantine/suspicion.test.ts
@@ -1,13 +1,13 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { MAX_HELD, QUARANTINE_MS } from './constants.js';
+import { MAX_HELD_REQUESTS, QUARANTINE_DURATION_MS } from './constants.js';
 import { checkPlacement, decideSuspicion, initSuspicion } from './suspicion.js';
 import type { Attempt, SuspicionEffect, SuspicionEvent, SuspicionState } from './types.js';
 
 const SEED = 460;
 const RUNS = 3_000;
 const ENDPOINTS = 5;
-const POISONS = ['p1', 'p2'];
+const POISON_FINGERPRINTS = ['p1', 'p2'];
 
 const anyAction = fc.oneof(
   {
@@ -32,23 +32,26 @@
   readonly quarantined: ReadonlySet<string>;
 }
 
-/** Runs requests on endpoints that poisoned ones crash; each endpoint restarts at once. */
-const runEntry = (actions: readonly Action[]): Outcome => {
+/**
+ * Simulates an entry daemon whose poison requests crash the endpoints that run them. A lost
+ * endpoint restarts at once, and each loss is reported twice.
+ */
+const runSimulation = (actions: readonly Action[]): Outcome => {
   let state: SuspicionState = initSuspicion();
   let now = 0;
-  let serial = 0;
+  let requestCount = 0;
   const incarnations = Array.from({ length: ENDPOINTS }, () => 0);
   const crashes: Record<string, number> = {};
   const losses: Record<string, number> = {};
   const quarantined = new Set<string>();
   const waiting = new Map<string, string>();
-  const startedAlone = new Set<string>();
+  const startedIsolated = new Set<string>();
 
   const step = (event: SuspicionEvent): void => {
     const result = decideSuspicion(state, event);
     state = result.state;
     result.effects.forEach(applyEffect);
-    const running = [...startedAlone].filter((requestId) => state.attempts.has(requestId));
+    const running = [...startedIsolated].filter((requestId) => state.attempts.has(requestId));
     if (running.length > 1) throw new Error('two suspects ran at once');
   };
 
@@ -62,8 +65,8 @@
     }
     const chosen = rule.kind === 'only' ? Number(rule.endpoints[0]) : choice;
     const endpoint = rule.kind === 'alone' ? Number(rule.endpoint ?? choice) : chosen;
-    if (rule.kind === 'alone') startedAlone.add(requestId);
-    else startedAlone.delete(requestId);
+    if (rule.kind === 'alone') startedIsolated.add(requestId);
+    else startedIsolated.delete(requestId);
     const incarnation = (incarnations[endpoint] ?? 0).toString();
     const attempt = { requestId, fingerprint, endpoint: endpoint.toString(), incarnation };
     step({ kind: 'attempt-started', ...attempt });
@@ -73,17 +76,17 @@
     if (effect.kind === 'append-quarantine') quarantined.add(effect.fingerprint);
     if (effect.kind !== 'place-held') return;
     const fingerprint = waiting.get(effect.requestId) ?? '';
-    place(effect.requestId, fingerprint, serial % ENDPOINTS);
+    place(effect.requestId, fingerprint, requestCount % ENDPOINTS);
   };
 
-  const lose = (endpoint: number, cause: 'crash' | 'lost'): void => {
+  const loseEndpoint = (endpoint: number, cause: 'crash' | 'lost'): void => {
     const incarnation = (incarnations[endpoint] ?? 0).toString();
     incarnations[endpoint] = Number(incarnation) + 1;
     const start = { endpoint: endpoint.toString(), incarnation };
-    const hit = [...state.attempts.values()].filter(
+    const affected = [...state.attempts.values()].filter(
       (attempt) => attempt.endpoint === start.endpoint,
     );
-    for (const fingerprint of new Set(hit.map((attempt) => attempt.fingerprint))) {
+    for (const fingerprint of new Set(affected.map((attempt) => attempt.fingerprint))) {
       losses[fingerprint] = (losses[fingerprint] ?? 0) + 1;
     }
     const event = { kind: 'endpoint-lost', ...start, cause, reported: [], now } as const;
@@ -92,12 +95,12 @@
   };
 
   const runAttempt = ({ requestId, fingerprint, endpoint }: Attempt): void => {
-    if (!POISONS.includes(fingerprint)) {
+    if (!POISON_FINGERPRINTS.includes(fingerprint)) {
       step({ kind: 'attempt-ended', requestId, outcome: 'well' });
       return;
     }
     crashes[fingerprint] = (crashes[fingerprint] ?? 0) + 1;
-    lose(Number(endpoint), 'crash');
+    loseEndpoint(Number(endpoint), 'crash');
   };
 
   for (const action of actions) {
@@ -106,8 +109,8 @@
       'pick' in action ? attempts[action.pick % Math.max(1, attempts.length)] : undefined;
     switch (action.kind) {
       case 'arrive':
-        serial += 1;
-        place(`r${serial.toString()}`, action.fingerprint, action.endpoint);
+        requestCount += 1;
+        place(`r${requestCount.toString()}`, action.fingerprint, action.endpoint);
         break;
       case 'run':
         if (picked !== undefined) runAttempt(picked);
@@ -117,7 +120,7 @@
         step({ kind: 'attempt-ended', requestId: picked.requestId, outcome: 'refused' });
         break;
       case 'lose':
-        lose(action.endpoint, 'lost');
+        loseEndpoint(action.endpoint, 'lost');
         break;
       case 'tick':
         now += action.by;
@@ -128,32 +131,32 @@
   return { crashes, losses, quarantined };
 };
 
-// Guards against a request that takes down one endpoint after the other while its caller sends it
-// again, and against the quarantine of a request that one chance crash hit.
-test('a poisoned request crashes two endpoints at most, and one loss quarantines nobody', (t) => {
-  let seen = 0;
+// Guards against a request that crashes one endpoint after the other as its caller retries it, and
+// against the quarantine of a request that was in flight at a single unrelated crash.
+test('a poison request crashes at most two endpoints, and one loss quarantines no request', (t) => {
+  let secondCrashes = 0;
   const property = fc.property(fc.array(anyAction, { maxLength: 120, size: 'max' }), (actions) => {
-    const { crashes, losses, quarantined } = runEntry(
-      // Correlated losses clear suspects, which is a separate rule with its own test below.
+    const { crashes, losses, quarantined } = runSimulation(
+      // Correlated losses clear suspects; a separate test below covers this rule.
       actions.filter((action) => action.kind !== 'lose'),
     );
     for (const [fingerprint, count] of Object.entries(crashes)) {
       if (count > 2) throw new Error(`${fingerprint} crashed ${count.toString()} endpoints`);
       if (count === 2 && !quarantined.has(fingerprint)) throw new Error('not quarantined');
-      if (count === 2) seen += 1;
+      if (count === 2) secondCrashes += 1;
     }
     for (const fingerprint of quarantined) {
-      if ((losses[fingerprint] ?? 0) < 2) throw new Error(`${fingerprint} was hit once`);
+      if ((losses[fingerprint] ?? 0) < 2) throw new Error(`${fingerprint} was lost only once`);
     }
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
-  t.true(seen > RUNS / 4);
+  t.true(secondCrashes > RUNS / 4);
 });
 
-// Guards against an endpoint's silence, which has many causes, that quarantines after one loss.
-test('with endpoints that fall silent too, nobody is quarantined by one loss', (t) => {
+// Guards against a quarantine after a single silent endpoint, since silence has many causes.
+test('a single loss quarantines no request when endpoints also fall silent', (t) => {
   const property = fc.property(fc.array(anyAction, { maxLength: 120, size: 'max' }), (actions) => {
-    const { losses, quarantined } = runEntry(actions);
+    const { losses, quarantined } = runSimulation(actions);
     return [...quarantined].every((fingerprint) => (losses[fingerprint] ?? 0) >= 2);
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
@@ -175,8 +178,8 @@
   now,
 });
 
-// Guards against a data centre's loss that sends hundreds of requests through one slot.
-test('three endpoints lost at once clear the suspects, three crashes do not', (t) => {
+// Guards against the loss of a data centre after which hundreds of requests run one at a time.
+test('three endpoints lost at once clear their suspects, and three crashes do not', (t) => {
   const losses = ['e1', 'e2', 'e3'].map((endpoint) => ({
     ...buildLoss(endpoint, 'lost', 0),
     reported: [endpoint],
@@ -186,10 +189,10 @@
   t.is(run(...(crashes as SuspicionEvent[])).state.suspects.size, 3);
 });
 
-// Guards against a quarantine that a log outage loses, and against one that never ends.
-test('a quarantine holds at once, is appended until it is read back, and expires', (t) => {
+// Guards against a quarantine that is lost in a log outage, and against one that never expires.
+test('a quarantine takes effect at once, is appended until it is read back, and expires', (t) => {
   const crashed = run(buildLoss('e1', 'crash', 0), buildLoss('e2', 'crash', 100));
-  const expiresAt = 100 + QUARANTINE_MS;
+  const expiresAt = 100 + QUARANTINE_DURATION_MS;
   t.deepEqual(crashed.effects, [{ kind: 'append-quarantine', fingerprint: 'f', expiresAt }]);
   t.like(checkPlacement(crashed.state, 'f', 100), {
     kind: 'refuse',
@@ -208,19 +211,25 @@
 });
 
 // Guards against a queue of suspects that grows without bound.
-test('suspects wait in a bounded line and are refused as not run beyond it', (t) => {
-  const hold = (requestId: string): SuspicionEvent => ({
+test('suspects wait in a bounded queue, beyond which they are refused as not run', (t) => {
+  const buildHeld = (requestId: string): SuspicionEvent => ({
     kind: 'held',
     requestId,
     fingerprint: 'f',
   });
   const start = { requestId: 'r', fingerprint: 'f', endpoint: 'e9', incarnation: 'i' };
-  const line = Array.from({ length: MAX_HELD }, (_, index) => hold(`r${index.toString()}`));
-  const full = run(buildLoss('e1', 'crash', 0), { kind: 'attempt-started', ...start }, ...line);
-  t.is(full.state.held.length, MAX_HELD);
-  const over = decideSuspicion(full.state, hold('last'));
+  const heldEvents = Array.from({ length: MAX_HELD_REQUESTS }, (_, index) =>
+    buildHeld(`r${index.toString()}`),
+  );
+  const full = run(
+    buildLoss('e1', 'crash', 0),
+    { kind: 'attempt-started', ...start },
+    ...heldEvents,
+  );
+  t.is(full.state.held.length, MAX_HELD_REQUESTS);
+  const over = decideSuspicion(full.state, buildHeld('last'));
   t.like(over.effects[0], { kind: 'refuse-held', failure: { verdict: 'not-run' } });
-  const well = { kind: 'attempt-ended', requestId: 'r', outcome: 'well' } as const;
-  const cleared = decideSuspicion(over.state, well);
-  t.is(cleared.effects.filter((effect) => effect.kind === 'place-held').length, MAX_HELD);
+  const completion = { kind: 'attempt-ended', requestId: 'r', outcome: 'well' } as const;
+  const cleared = decideSuspicion(over.state, completion);
+  t.is(cleared.effects.filter((effect) => effect.kind === 'place-held').length, MAX_HELD_REQUESTS);
 });
--- a/packages/decisions/quarantine/suspicion.ts
+++ b/packages/decisions/quarantine/suspicion.ts
@@ -1,19 +1,19 @@
 import {
-  APPEND_AGAIN_MS,
-  CORRELATED_LOSSES,
+  APPEND_RETRY_MS,
+  MIN_CORRELATED_LOSSES,
   CORRELATED_WINDOW_MS,
   CRASHES_TO_QUARANTINE,
-  MAX_HELD,
+  MAX_HELD_REQUESTS,
   MAX_QUARANTINED,
   MAX_SUSPECTS,
-  MAX_TRIED,
-  QUARANTINE_MS,
-  SUSPECT_MS,
-  UNTRIED_ENDPOINTS,
+  MAX_COMPLETED,
+  QUARANTINE_DURATION_MS,
+  SUSPECT_TTL_MS,
+  MAX_ENDPOINTS_BEFORE_COMPLETION,
 } from './constants.js';
 import {
   addAttempt,
-  formatStart,
+  formatEndpointIncarnation,
   listAttemptsAt,
   listEndpointsOf,
   removeAttempt,
@@ -38,9 +38,9 @@
 type SuspicionStep = Step<SuspicionState, SuspicionEffect>;
 
 /**
- * Creates the state of an entry daemon that suspects nothing.
+ * Creates the state of an entry daemon without suspects.
  *
- * @returns empty tables
+ * @returns a state with empty tables
  */
 export const initSuspicion = (): SuspicionState => ({
   attempts: new Map(),
@@ -48,9 +48,9 @@
   byEndpoint: new Map(),
   suspects: new Map(),
   quarantined: new Map(),
-  tried: new Set(),
-  alone: null,
-  aloneEndpoint: null,
+  completed: new Set(),
+  isolatedRequest: null,
+  isolationEndpoint: null,
   held: [],
   recentLosses: [],
 });
@@ -62,13 +62,13 @@
   (state.quarantined.get(fingerprint)?.expiresAt ?? 0) > now;
 
 /**
- * Tells where a request may be placed. The answer holds until the next event, so the caller reports
- * the attempt as started before it asks for another request.
+ * Checks where a request may be placed. The rule is valid until the next event, so the caller
+ * reports the attempt as started before it checks another request.
  *
- * @param state - what is suspected
- * @param fingerprint - content of the request
+ * @param state - suspects, quarantines and attempts in flight
+ * @param fingerprint - hash of the request's content
  * @param now - current instant
- * @returns the rule for its placement
+ * @returns the placement rule
  */
 export const checkPlacement = (
   state: SuspicionState,
@@ -79,17 +79,20 @@
     return { kind: 'refuse', failure: createQuarantineFailure() };
   }
   if (state.suspects.has(fingerprint)) {
-    const isFree = state.alone === null && !state.byFingerprint.has(fingerprint);
-    return isFree ? { kind: 'alone', endpoint: state.aloneEndpoint } : { kind: 'hold' };
+    const isFree = state.isolatedRequest === null && !state.byFingerprint.has(fingerprint);
+    return isFree ? { kind: 'alone', endpoint: state.isolationEndpoint } : { kind: 'hold' };
   }
-  if (!state.tried.has(fingerprint)) {
+  if (!state.completed.has(fingerprint)) {
     const endpoints = listEndpointsOf(state, fingerprint);
-    if (endpoints.length >= UNTRIED_ENDPOINTS) return { kind: 'only', endpoints };
+    if (endpoints.length >= MAX_ENDPOINTS_BEFORE_COMPLETION) return { kind: 'only', endpoints };
   }
-  return { kind: 'anywhere', avoid: state.alone === null ? null : state.aloneEndpoint };
+  return {
+    kind: 'anywhere',
+    avoid: state.isolatedRequest === null ? null : state.isolationEndpoint,
+  };
 };
 
-/** Drops the oldest entries of a table above its bound. */
+/** Drops the oldest entries of a table that exceeds its capacity. */
 const pruneTable = (
   table: {
     readonly size: number;
@@ -105,14 +108,14 @@
   }
 };
 
-const isReady = (state: SuspicionState, { fingerprint }: HeldRequest): boolean =>
+const isPlaceable = (state: SuspicionState, { fingerprint }: HeldRequest): boolean =>
   !state.suspects.has(fingerprint) ||
-  (state.alone === null && !state.byFingerprint.has(fingerprint));
+  (state.isolatedRequest === null && !state.byFingerprint.has(fingerprint));
 
-/** Lets held requests ask again: all that are free of suspicion, and one suspect. */
+/** Releases all held requests that are no longer suspects, and one suspect if none is running. */
 const releaseHeld = (step: SuspicionStep): SuspicionStep => {
   const { state } = step;
-  const ready = state.held.filter((held) => isReady(state, held));
+  const ready = state.held.filter((held) => isPlaceable(state, held));
   if (ready.length === 0) return step;
   const next = ready.find(({ fingerprint }) => state.suspects.has(fingerprint));
   const placed = ready.filter((held) => held === next || !state.suspects.has(held.fingerprint));
@@ -127,16 +130,20 @@
 ): readonly SuspicionEffect[] =>
   state.suspects.delete(fingerprint) ? [{ kind: 'suspect-cleared', fingerprint }] : [];
 
-const recordTried = (state: SuspicionState, fingerprint: Fingerprint): void => {
-  state.tried.delete(fingerprint);
-  state.tried.add(fingerprint);
-  pruneTable(state.tried, MAX_TRIED);
+const recordCompleted = (state: SuspicionState, fingerprint: Fingerprint): void => {
+  state.completed.delete(fingerprint);
+  state.completed.add(fingerprint);
+  pruneTable(state.completed, MAX_COMPLETED);
 };
 
 const startAttempt = (state: SuspicionState, attempt: Attempt): SuspicionStep => {
   addAttempt(state, attempt);
   if (!state.suspects.has(attempt.fingerprint)) return toStep(state);
-  return toStep({ ...state, alone: attempt.requestId, aloneEndpoint: attempt.endpoint });
+  return toStep({
+    ...state,
+    isolatedRequest: attempt.requestId,
+    isolationEndpoint: attempt.endpoint,
+  });
 };
 
 const finishAttempt = (
@@ -145,10 +152,10 @@
 ): SuspicionStep => {
   const attempt = removeAttempt(state, event.requestId);
   if (attempt === undefined) return toStep(state);
-  const alone = state.alone === event.requestId ? null : state.alone;
-  const next = { ...state, alone };
+  const isolatedRequest = state.isolatedRequest === event.requestId ? null : state.isolatedRequest;
+  const next = { ...state, isolatedRequest };
   if (event.outcome !== 'well') return releaseHeld(toStep(next));
-  recordTried(state, attempt.fingerprint);
+  recordCompleted(state, attempt.fingerprint);
   return releaseHeld(toStep(next, ...clearSuspect(state, attempt.fingerprint)));
 };
 
@@ -159,9 +166,9 @@
 });
 
 const addHeld = (state: SuspicionState, request: HeldRequest): SuspicionStep => {
-  if (state.held.length >= MAX_HELD) {
-    const text = 'too many requests wait to run alone after a crash';
-    return toStep(state, refuseHeld(request, createFailure('not-run', 'overloaded', text)));
+  if (state.held.length >= MAX_HELD_REQUESTS) {
+    const message = 'too many requests wait to run in isolation after a crash';
+    return toStep(state, refuseHeld(request, createFailure('not-run', 'overloaded', message)));
   }
   const { requestId, fingerprint } = request;
   return releaseHeld(toStep({ ...state, held: [...state.held, { requestId, fingerprint }] }));
@@ -178,9 +185,9 @@
   now: Millis,
 ): SuspicionStep => {
   state.suspects.delete(fingerprint);
-  state.tried.delete(fingerprint);
+  state.completed.delete(fingerprint);
   state.quarantined.delete(fingerprint);
-  state.quarantined.set(fingerprint, { expiresAt, record, askedAt: now });
+  state.quarantined.set(fingerprint, { expiresAt, record, appendRequestedAt: now });
   pruneTable(state.quarantined, MAX_QUARANTINED);
   const refused = state.held.filter((held) => held.fingerprint === fingerprint);
   const held = state.held.filter((request) => request.fingerprint !== fingerprint);
@@ -194,13 +201,13 @@
   event: Extract<SuspicionEvent, { readonly kind: 'endpoint-lost' }>,
 ): SuspicionStep => {
   const { now, cause } = event;
-  const id = formatStart(event);
+  const id = formatEndpointIncarnation(event);
   const known = state.suspects.get(fingerprint);
   const isKnownLoss = known?.losses.some((loss) => loss.id === id) === true;
   if (isKnownLoss || isQuarantined(state, fingerprint, now)) return toStep(state);
   const losses = [...(known?.losses ?? []), { id, cause }];
   if (losses.length >= CRASHES_TO_QUARANTINE) {
-    const expiresAt = now + QUARANTINE_MS;
+    const expiresAt = now + QUARANTINE_DURATION_MS;
     const step = addQuarantine(state, fingerprint, expiresAt, 'pending', now);
     const append = { kind: 'append-quarantine', fingerprint, expiresAt } as const;
     return toStep<SuspicionState, SuspicionEffect>(step.state, append, ...step.effects);
@@ -210,9 +217,12 @@
   return toStep(state, { kind: 'suspect-added', fingerprint });
 };
 
-/** Many endpoints lost at once were not lost to one request each: their suspects are cleared. */
-const clearCorrelated = (state: SuspicionState): readonly SuspicionEffect[] => {
-  if (state.recentLosses.length < CORRELATED_LOSSES) return [];
+/**
+ * Clears the suspects of correlated losses: when many endpoints are lost at once, the cause is
+ * shared and not a request on each of them. A crash never counts as correlated.
+ */
+const clearCorrelatedSuspects = (state: SuspicionState): readonly SuspicionEffect[] => {
+  if (state.recentLosses.length < MIN_CORRELATED_LOSSES) return [];
   const recent = new Set(state.recentLosses.map((loss) => loss.id));
   return [...state.suspects]
     .filter(([, suspect]) =>
@@ -225,7 +235,7 @@
   state: SuspicionState,
   event: Extract<SuspicionEvent, { readonly kind: 'endpoint-lost' }>,
 ): SuspicionState => {
-  const id = formatStart(event);
+  const id = formatEndpointIncarnation(event);
   const recent = state.recentLosses.filter(
     (loss) => loss.at > event.now - CORRELATED_WINDOW_MS && loss.id !== id,
   );
@@ -243,31 +253,31 @@
     ...attempts.map((attempt) => attempt.fingerprint),
     ...event.reported,
   ]);
-  const isAloneLost = attempts.some((attempt) => attempt.requestId === state.alone);
+  const isIsolatedLost = attempts.some((attempt) => attempt.requestId === state.isolatedRequest);
   let step: SuspicionStep = toStep({
     ...trackLoss(state, event),
-    alone: isAloneLost ? null : state.alone,
-    aloneEndpoint: state.aloneEndpoint === event.endpoint ? null : state.aloneEndpoint,
+    isolatedRequest: isIsolatedLost ? null : state.isolatedRequest,
+    isolationEndpoint: state.isolationEndpoint === event.endpoint ? null : state.isolationEndpoint,
   });
   for (const fingerprint of fingerprints) {
     const next = addLoss(step.state, fingerprint, event);
     step = toStep(next.state, ...step.effects, ...next.effects);
   }
-  return releaseHeld(toStep(step.state, ...step.effects, ...clearCorrelated(step.state)));
+  return releaseHeld(toStep(step.state, ...step.effects, ...clearCorrelatedSuspects(step.state)));
 };
 
-const expire = (state: SuspicionState, now: Millis): SuspicionStep => {
+const expireEntries = (state: SuspicionState, now: Millis): SuspicionStep => {
   const effects: SuspicionEffect[] = [];
-  for (const [fingerprint, { expiresAt, record, askedAt }] of state.quarantined) {
+  for (const [fingerprint, { expiresAt, record, appendRequestedAt }] of state.quarantined) {
     if (expiresAt <= now) state.quarantined.delete(fingerprint);
-    else if (record === 'pending' && now - askedAt >= APPEND_AGAIN_MS) {
-      state.quarantined.set(fingerprint, { expiresAt, record, askedAt: now });
+    else if (record === 'pending' && now - appendRequestedAt >= APPEND_RETRY_MS) {
+      state.quarantined.set(fingerprint, { expiresAt, record, appendRequestedAt: now });
       effects.push({ kind: 'append-quarantine', fingerprint, expiresAt });
     }
   }
   for (const [fingerprint, { since }] of state.suspects) {
     const isIdle = !state.byFingerprint.has(fingerprint);
-    if (isIdle && now - since >= SUSPECT_MS) effects.push(...clearSuspect(state, fingerprint));
+    if (isIdle && now - since >= SUSPECT_TTL_MS) effects.push(...clearSuspect(state, fingerprint));
   }
   return releaseHeld(toStep(state, ...effects));
 };
@@ -275,9 +285,9 @@
 /**
  * Decides one event about requests that may crash endpoints.
  *
- * @param state - what is suspected; its tables are updated in place
- * @param event - an attempt, a held request, a loss, a record of the log or a tick
- * @returns the next state, and records to append or held requests to place or refuse
+ * @param state - state before the event; its tables are updated in place
+ * @param event - an attempt, a held request, a loss, a quarantine record or a tick
+ * @returns the next state, with records to append and held requests to place or refuse
  */
 export const decideSuspicion = (state: SuspicionState, event: SuspicionEvent): SuspicionStep => {
   switch (event.kind) {
@@ -296,7 +306,7 @@
         ? toStep(state)
         : addQuarantine(state, event.fingerprint, event.expiresAt, 'logged', event.now);
     case 'tick':
-      return expire(state, event.now);
+      return expireEntries(state, event.now);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -2,80 +2,94 @@
 import type { EndpointId, Incarnation, RequestId } from '../../core/ids.js';
 import type { Failure } from '../../core/verdict.js';
 
-/** Hash of a request's content. */
+/** Hash of a request's content; requests with the same content share it. */
 export type Fingerprint = string;
 
-/** One loss of an endpoint: the same loss is reported by several sources. */
-export interface EndpointStart {
+/**
+ * One start of an endpoint. It identifies a loss, which is counted once although several sources
+ * report it.
+ */
+export interface EndpointIncarnation {
   readonly endpoint: EndpointId;
-  /** Start identity that crashed, of the engine or of its daemon. */
+  /** Incarnation of the engine or of its daemon. */
   readonly incarnation: Incarnation;
 }
 
-/** `crash`: the engine ended by itself. `lost`: the endpoint fell silent, for any reason. */
+/** `crash`: the engine exited on its own. `lost`: the endpoint became unreachable, for any reason. */
 export type LossCause = 'crash' | 'lost';
 
-/** Losses of different endpoint starts in which a fingerprint was in flight. */
+/** A fingerprint that was in flight when endpoints were lost. */
 export interface Suspect {
+  /** One entry for each endpoint incarnation; `id` is its formatted identity. */
   readonly losses: readonly { readonly id: string; readonly cause: LossCause }[];
+  /** Instant of the newest loss. */
   readonly since: Millis;
 }
 
-/** A fingerprint that is refused until it expires. */
-export interface Quarantined {
+/** Quarantine of a fingerprint, whose requests are refused until it expires. */
+export interface QuarantineEntry {
   readonly expiresAt: Millis;
-  /** Whether the record was read back from the control log. */
+  /** `logged` after the quarantine record was read back from the control log. */
   readonly record: 'pending' | 'logged';
-  readonly askedAt: Millis;
+  /** Instant at which the append of the record was last requested. */
+  readonly appendRequestedAt: Millis;
 }
 
 /** A request in flight at an endpoint. */
-export interface Attempt extends EndpointStart {
+export interface Attempt extends EndpointIncarnation {
   readonly requestId: RequestId;
   readonly fingerprint: Fingerprint;
 }
 
-/** A request that waits for its turn to run alone. */
+/** A request of a suspect that waits until it may run in isolation. */
 export interface HeldRequest {
   readonly requestId: RequestId;
   readonly fingerprint: Fingerprint;
 }
 
 /**
- * What an entry daemon knows of requests that may crash endpoints. The tables are updated in place,
- * since every attempt writes to them; only `suspicion.ts` and its tables do.
+ * State of an entry daemon about requests that may crash endpoints. The tables are updated in
+ * place, since every attempt writes to them; only `suspicion.ts` and `inFlight.ts` do so.
  */
 export interface SuspicionState {
   readonly attempts: Map<RequestId, Attempt>;
-  /** Requests in flight by fingerprint and by endpoint start. */
+  /** Requests in flight by fingerprint. */
   readonly byFingerprint: Map<Fingerprint, Set<RequestId>>;
+  /** Requests in flight by the formatted identity of the endpoint incarnation. */
   readonly byEndpoint: Map<string, Set<RequestId>>;
   readonly suspects: Map<Fingerprint, Suspect>;
-  readonly quarantined: Map<Fingerprint, Quarantined>;
-  /** Fingerprints that ran well, oldest first. */
-  readonly tried: Set<Fingerprint>;
-  /** The one suspect that runs now. */
-  readonly alone: RequestId | null;
-  /** Endpoint on which suspects run, while it lives. */
-  readonly aloneEndpoint: EndpointId | null;
+  readonly quarantined: Map<Fingerprint, QuarantineEntry>;
+  /** Fingerprints of which a request completed, least recently completed first. */
+  readonly completed: Set<Fingerprint>;
+  /** Request of a suspect that is in flight; at most one runs at a time. */
+  readonly isolatedRequest: RequestId | null;
+  /** Endpoint on which suspects run, until it is lost. */
+  readonly isolationEndpoint: EndpointId | null;
+  /** Requests that wait to run in isolation, in order of arrival. */
   readonly held: readonly HeldRequest[];
+  /** Losses with the cause `lost` within the correlation window. */
   readonly recentLosses: readonly { readonly id: string; readonly at: Millis }[];
 }
 
 /** Where a request may be placed now. */
 export type PlacementRule =
-  /** Anywhere, but rather not on the endpoint where a suspect runs. */
+  /** On any endpoint, preferably not on `avoid`, where a suspect is running. */
   | { readonly kind: 'anywhere'; readonly avoid: EndpointId | null }
+  /** Only on endpoints that already run the fingerprint. */
   | { readonly kind: 'only'; readonly endpoints: readonly EndpointId[] }
-  /** As the only suspect, preferably on the named endpoint. */
+  /** As the only running suspect, preferably on the named endpoint. */
   | { readonly kind: 'alone'; readonly endpoint: EndpointId | null }
+  /** Waits until it may run in isolation. */
   | { readonly kind: 'hold' }
   | { readonly kind: 'refuse'; readonly failure: Failure };
 
-/** `refused`: it did not run. `failed`: it ended with an error while the endpoint lived on. */
+/**
+ * `well`: it completed. `refused`: it did not run. `failed`: it ended with an error, but the
+ * endpoint stayed up.
+ */
 export type AttemptOutcome = 'well' | 'refused' | 'failed';
 
-/** What an entry daemon learns of attempts and endpoints. */
+/** Input of a suspicion decision: attempts, losses, quarantine records and ticks. */
 export type SuspicionEvent =
   | ({ readonly kind: 'attempt-started' } & Attempt)
   | {
@@ -84,6 +98,7 @@
       readonly outcome: AttemptOutcome;
     }
   | ({ readonly kind: 'held' } & HeldRequest)
+  /** A held request ended before it was placed. */
   | { readonly kind: 'abandoned'; readonly requestId: RequestId }
   | ({
       readonly kind: 'endpoint-lost';
@@ -91,7 +106,8 @@
       /** Fingerprints that the endpoint daemon reports as in flight at the crash. */
       readonly reported: readonly Fingerprint[];
       readonly now: Millis;
-    } & EndpointStart)
+    } & EndpointIncarnation)
+  /** A quarantine record was read from the control log. */
   | {
       readonly kind: 'quarantine-record';
       readonly fingerprint: Fingerprint;
@@ -100,7 +116,7 @@
     }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Records to append, and held requests to place or refuse. */
+/** Output of a suspicion decision: records to append, and held requests to place or refuse. */
 export type SuspicionEffect =
   | {
       readonly kind: 'append-quarantine';
@@ -109,7 +125,7 @@
     }
   | { readonly kind: 'suspect-added'; readonly fingerprint: Fingerprint }
   | { readonly kind: 'suspect-cleared'; readonly fingerprint: Fingerprint }
-  /** A held request may ask for its placement rule again. */
+  /** A held request is to be placed; its caller queries the placement rule again. */
   | { readonly kind: 'place-held'; readonly requestId: RequestId }
   | {
       readonly kind: 'refuse-held';
