Reword the retry decisions and their simulation

Comments said what successes pay for, what a caller is told and that a simulation is too tame. They now state the budget, its refill, the back-off with full jitter and which absent mechanism the simulation must detect. RETRY_SHARE is RETRIES_PER_SUCCESS, BACKOFF_FIRST_MS is BACKOFF_BASE_MS, and the simulation counts executions and reported verdicts. The errors that the variants match are unchanged.

--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -9,7 +9,7 @@
 import type { LeaseState } from '../membership/leaseTypes.js';
 import { mergeVerdicts, toResumeRefusal } from '../streams/verdicts.js';
 
-/** Faults and progress; `pick` selects an object modulo their number. */
+/** Step of a simulation: a fault or progress. `pick` modulo the number of objects selects one. */
 export interface AttemptAction {
   readonly kind:
     | 'send'
@@ -27,7 +27,7 @@
   readonly pick: number;
 }
 
-/** The decisions under test, or variants without one of them. */
+/** Decisions under test; a variant replaces one of them. */
 export interface RefusalMechanisms {
   readonly resolve: (earlier: Verdict, failure: Failure) => Failure;
   readonly refuseResume: (failure: Failure) => Failure;
@@ -42,7 +42,7 @@
 
 interface Endpoint {
   lease: LeaseState;
-  engine: 'sound' | 'broken';
+  engine: 'healthy' | 'broken';
 }
 
 interface Request {
@@ -50,9 +50,10 @@
   state: 'waiting' | 'sent' | 'ended';
   attempts: number;
   verdict: Verdict;
-  /** Starts at an endpoint, of whichever attempt. */
-  runs: number;
-  told: Verdict | null;
+  /** Number of executions at any endpoint, over all attempts. */
+  executions: number;
+  /** Verdict that the caller received, or null while none is due. */
+  reportedVerdict: Verdict | null;
 }
 
 interface Message {
@@ -65,40 +66,45 @@
 interface Reply {
   readonly request: number;
   readonly attempt: number;
-  /** Null for an answer. */
+  /** Null for a successful answer. */
   readonly failure: Failure | null;
 }
 
 const ENDPOINTS = 3;
 const REQUESTS = 3;
 const DEADLINE_MS = 20_000;
-const TARGETS = ['entry'];
+const HEARTBEAT_TARGETS = ['entry'];
 
 /**
- * Runs idempotent calls and a refused resume against endpoint daemons whose links lose, delay and
- * refuse messages, whose leases lapse and that leave, restart and break.
+ * Runs idempotent calls and a refused resume against endpoint daemons. Links lose, delay and refuse
+ * messages; leases lapse; endpoints leave and restart, and engines break.
  *
- * @param actions - what happens; then every message still on its way arrives
+ * @param actions - steps to run, after which every message in transit arrives
  * @param mechanisms - decisions under test
- * @returns the violations that the oracle found
+ * @returns the violations: requests that were reported as not run and ran
  */
 export const runAttempts = (
   actions: readonly AttemptAction[],
   mechanisms: RefusalMechanisms,
 ): readonly string[] => {
   let now = 0;
-  let serial = 0;
+  let lastSequence = 0;
   let budget: RetryBudget = { ...initRetryBudget(0), retries: 50 };
   const random = createRandomSource(7);
   const messages: Message[] = [];
   const replies: Reply[] = [];
 
   const renewLease = (lease: LeaseState): LeaseState => {
-    serial += 1;
-    const sent = { kind: 'heartbeat-sent', sequence: serial, targets: TARGETS, now } as const;
+    lastSequence += 1;
+    const sent = {
+      kind: 'heartbeat-sent',
+      sequence: lastSequence,
+      targets: HEARTBEAT_TARGETS,
+      now,
+    } as const;
     const acknowledged = {
       kind: 'heartbeat-acknowledged',
-      sequence: serial,
+      sequence: lastSequence,
       from: 'entry',
       now,
     } as const;
@@ -106,23 +112,23 @@
   };
   const startEndpoint = (incarnation: number): Endpoint => ({
     lease: renewLease(initLease(incarnation.toString())),
-    engine: 'sound',
+    engine: 'healthy',
   });
   const endpoints = Array.from({ length: ENDPOINTS }, (_, index) => startEndpoint(index));
   const requests = Array.from({ length: REQUESTS }, (_, index): Request => ({
-    // The generation of a resume was started by another entry daemon.
+    // Another entry daemon started the generation that the resume names, so it has run once.
     kind: index === 0 ? 'resume' : 'call',
     state: 'waiting',
     attempts: 0,
     verdict: 'not-run',
-    runs: index === 0 ? 1 : 0,
-    told: null,
+    executions: index === 0 ? 1 : 0,
+    reportedVerdict: null,
   }));
 
   const endRequest = (request: Request, failure: Failure | null): void => {
     request.state = 'ended';
     if (failure === null) return;
-    request.told =
+    request.reportedVerdict =
       request.kind === 'resume'
         ? mechanisms.refuseResume(failure).verdict
         : mechanisms.resolve(request.verdict, failure).verdict;
@@ -153,13 +159,17 @@
   const runMessage = ({ request: index, attempt, endpoint: at, incarnation }: Message): void => {
     const endpoint = endpoints[at] as Endpoint;
     const refusal = mechanisms.check(endpoint.lease, incarnation, now);
-    if (refusal === null) (requests[index] as Request).runs += 1;
-    const broken = createFailure('may-have-run', 'endpoint-failed', 'the engine broke off');
+    if (refusal === null) (requests[index] as Request).executions += 1;
+    const broken = createFailure(
+      'may-have-run',
+      'endpoint-failed',
+      'the engine ended the answer early',
+    );
     const failure = refusal ?? (endpoint.engine === 'broken' ? broken : null);
     replies.push({ request: index, attempt, failure });
   };
 
-  const takeReply = ({ request: index, attempt, failure }: Reply): void => {
+  const receiveReply = ({ request: index, attempt, failure }: Reply): void => {
     const request = requests[index] as Request;
     if (request.state === 'sent' && request.attempts === attempt) endAttempt(request, failure);
   };
@@ -174,7 +184,7 @@
     messages.push({ request: index, attempt: request.attempts, endpoint, incarnation });
   };
 
-  const takeFrom = <Item>(items: Item[], pick: number): Item | undefined =>
+  const takeItem = <Item>(items: Item[], pick: number): Item | undefined =>
     items.splice(pick % Math.max(1, items.length), 1)[0];
 
   const runAction = ({ kind, pick }: AttemptAction): void => {
@@ -187,40 +197,40 @@
         sendRequest(index, Math.floor(pick / REQUESTS));
         return;
       case 'deliver': {
-        const message = takeFrom(messages, pick);
+        const message = takeItem(messages, pick);
         if (message !== undefined) runMessage(message);
         return;
       }
       case 'answer': {
-        const reply = takeFrom(replies, pick);
-        if (reply !== undefined) takeReply(reply);
+        const reply = takeItem(replies, pick);
+        if (reply !== undefined) receiveReply(reply);
         return;
       }
       case 'lose':
-        if (pick % 2 === 0) takeFrom(messages, pick);
-        else takeFrom(replies, pick);
+        if (pick % 2 === 0) takeItem(messages, pick);
+        else takeItem(replies, pick);
         return;
-      // The message may still be on its way, so the attempt may run later.
+      // The message may still be in transit, so the attempt may run later.
       case 'time-out':
         if (request.state !== 'sent') return;
         endAttempt(request, createFailure('may-have-run', 'endpoint-failed', 'no answer'));
         return;
       case 'refuse-connection': {
-        const message = takeFrom(messages, pick);
+        const message = takeItem(messages, pick);
         if (message === undefined) return;
         const failure = createFailure('not-run', 'endpoint-lost', 'connection refused');
-        takeReply({ ...message, failure });
+        receiveReply({ ...message, failure });
         return;
       }
       case 'break-engine':
-        endpoint.engine = endpoint.engine === 'sound' ? 'broken' : 'sound';
+        endpoint.engine = endpoint.engine === 'healthy' ? 'broken' : 'healthy';
         return;
       case 'leave':
         endpoint.lease = decideLease(endpoint.lease, { kind: 'leave' }).state;
         return;
       case 'restart':
-        serial += 1;
-        endpoints[at] = startEndpoint(serial + ENDPOINTS);
+        lastSequence += 1;
+        endpoints[at] = startEndpoint(lastSequence + ENDPOINTS);
         return;
       case 'renew':
         endpoint.lease = renewLease(endpoint.lease);
@@ -240,9 +250,9 @@
 
   for (const action of actions) runAction(action);
   for (const message of messages.splice(0)) runMessage(message);
-  for (const reply of replies.splice(0)) takeReply(reply);
-  return requests.flatMap(({ kind, told, runs }) =>
-    told === 'not-run' && runs > 0 ? [`a ${kind} was told not-run and ran`] : [],
+  for (const reply of replies.splice(0)) receiveReply(reply);
+  return requests.flatMap(({ kind, reportedVerdict, executions }) =>
+    reportedVerdict === 'not-run' && executions > 0 ? [`a ${kind} was told not-run and ran`] : [],
   );
 };
 
@@ -256,7 +266,8 @@
 });
 
 /**
- * Builds the property of P6 for calls and resumes: what is told as not run did not run.
+ * Builds the property of P6 for calls and resumes: a request that is reported as not run did not
+ * run.
  *
  * @param mechanisms - decisions under test
  * @returns a fast-check property that throws with the violations
--- a/packages/decisions/retries/budgetTable.ts
+++ b/packages/decisions/retries/budgetTable.ts
@@ -5,8 +5,8 @@
 import type { ClassName, CustomerId } from '../../core/ids.js';
 
 /**
- * Budgets by customer and class, updated in place: at the target size there are tens of thousands.
- * The requests child is the only owner.
+ * Retry budgets by customer and class. The table is updated in place, since it holds tens of
+ * thousands of budgets at the target size. Only the requests child updates it.
  */
 export interface BudgetTable {
   readonly get: (customer: CustomerId, className: ClassName, now: Millis) => RetryBudget;
@@ -17,8 +17,8 @@
 /**
  * Creates an empty table.
  *
- * @param capacity - budgets kept before the least recently updated one is dropped
- * @returns the table; an unknown budget starts at its floor
+ * @param capacity - maximum number of budgets; beyond it the least recently updated one is dropped
+ * @returns the table; a budget that it does not hold starts at the floor
  */
 export const createBudgetTable = (capacity: number = MAX_BUDGETS): BudgetTable => {
   const budgets = new Map<string, RetryBudget>();
--- a/packages/decisions/retries/constants.ts
+++ b/packages/decisions/retries/constants.ts
@@ -1,23 +1,28 @@
-/** Retries that one success pays for; an outage of everything adds at most this share of load. */
-export const RETRY_SHARE = 0.1;
+/**
+ * Retries that one success adds to the budget. In a total outage, retries add at most this share of
+ * load.
+ */
+export const RETRIES_PER_SUCCESS = 0.1;
 
-/** Retries that a customer without recent successes has at hand. */
+/** Budget of a customer without recent successes. */
 export const BUDGET_FLOOR = 2;
 
-/** Refill below the floor, so that a customer recovers after an outage: one retry every 10 s. */
+/**
+ * Refill rate below the floor: one retry every 10 s, so that a customer recovers after an outage.
+ */
 export const FLOOR_REFILL_PER_MS = 0.0001;
 
-/** Retries that can be saved up; bounds the burst when everything fails after a good time. */
+/** Maximum budget; bounds the burst of retries when everything fails after a time of success. */
 export const BUDGET_MAX = 50;
 
-/** Attempts of one request; a fault that outlasts four of them needs more than a retry. */
+/** Maximum attempts of one request; retries do not help against a fault that outlasts four. */
 export const MAX_ATTEMPTS = 4;
 
-/** Upper end of the jitter before the second attempt; later ones double it. */
-export const BACKOFF_FIRST_MS = 50;
+/** Upper bound of the jittered delay before the second attempt; each later attempt doubles it. */
+export const BACKOFF_BASE_MS = 50;
 
-/** Upper end of the jitter for all later attempts. */
+/** Maximum of this upper bound for later attempts. */
 export const BACKOFF_MAX_MS = 2_000;
 
-/** Budgets kept, one for each customer and class; the least recently used one starts anew. */
+/** Maximum number of budgets, one per customer and class; the least recently updated is dropped. */
 export const MAX_BUDGETS = 50_000;
--- a/packages/decisions/retries/notRun.promise.test.ts
+++ b/packages/decisions/retries/notRun.promise.test.ts
@@ -14,17 +14,17 @@
 
 const SEED = 606;
 const RUNS = 2_000;
-const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
-const TOLD_NOT_RUN = /told not-run and ran/;
+const ALL_MECHANISMS: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+const FALSE_NOT_RUN = /told not-run and ran/;
 
-// Guards against a refusal that forgets an earlier attempt or a generation that ran (P6), when
-// links lose, delay and refuse messages and endpoint daemons lapse, leave, restart and break.
+// Guards against a refusal that ignores an earlier attempt or generation that ran (P6), while links
+// lose, delay and refuse messages, leases lapse, endpoints leave and restart and engines break.
 test('P6: a call or resume that is refused as not run was not run', (t) => {
   fc.assert(buildRefusalProperty(ALL_REFUSAL_MECHANISMS), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
-const VARIANTS: Readonly<Record<string, readonly [RefusalMechanisms, RegExp]>> = {
+const VARIANTS_WITHOUT_MECHANISM: Readonly<Record<string, readonly [RefusalMechanisms, RegExp]>> = {
   'the verdicts of earlier attempts': [
     { ...ALL_REFUSAL_MECHANISMS, resolve: (_earlier, failure) => failure },
     /a call was told/,
@@ -35,15 +35,15 @@
   ],
 };
 
-// Guards against a simulation too tame to need the mechanism.
-for (const [name, [mechanisms, violation]] of Object.entries(VARIANTS)) {
+// Guards against a simulation that cannot detect the absence of a mechanism.
+for (const [name, [mechanisms, violation]] of Object.entries(VARIANTS_WITHOUT_MECHANISM)) {
   test(`P6: the simulation finds a violation without ${name}`, (t) => {
     const result = fc.check(buildRefusalProperty(mechanisms), { seed: SEED, numRuns: RUNS });
     t.regex(String(result.errorInstance), violation);
   });
 }
 
-/** How one attempt of a generation ends; all but a refused start may have run. */
+/** End of one attempt of a generation; all attempts but a refused start may have run. */
 type AttemptEnd = 'start-refused' | 'engine-failed' | 'endpoint-gone' | 'resume-refused';
 
 const anyAttempts = fc.array(
@@ -56,8 +56,12 @@
   { maxLength: 5 },
 );
 
-const REFUSED = createFailure('not-run', 'overloaded', 'no room');
-const FAILED = createFailure('may-have-run', 'endpoint-failed', 'the engine broke off');
+const REFUSED = createFailure('not-run', 'overloaded', 'no free slot');
+const FAILED = createFailure(
+  'may-have-run',
+  'endpoint-failed',
+  'the engine ended the answer early',
+);
 const SHED = createFailure('not-run', 'shed', 'the queue is full');
 
 const listEvents = (end: AttemptEnd, attempt: number): readonly DeliveryEvent[] => {
@@ -99,14 +103,14 @@
     return state.phase === 'ended';
   });
 
-// Guards against a generation that is told as not run although one of its attempts started.
+// Guards against a generation that is reported as not run although one of its attempts started.
 test('P6: a generation that is refused as not run was not run', (t) => {
   fc.assert(buildGenerationProperty(decideDelivery), { seed: SEED, numRuns: RUNS });
   fc.assert(buildTokensProperty(decideDelivery), { seed: SEED, numRuns: 500 });
   t.pass();
 });
 
-/** Takes the refusal of a resume for one of the start. */
+/** Variant that treats the refusal of a resume as the refusal of a start. */
 const decideWithoutLinks: DecideDelivery = (state, event) => {
   const step = decideDelivery(state, event);
   if (event.kind !== 'failed' || step.state.phase !== 'idle') return step;
@@ -114,37 +118,39 @@
   return { ...step, state: { ...step.state, verdict } };
 };
 
-/** Forgets what earlier attempts proved. */
+/** Variant that ignores the verdicts of earlier attempts. */
 const decideWithoutVerdicts: DecideDelivery = (state, event) =>
   decideDelivery({ ...state, verdict: 'not-run' }, event);
 
-// Guards against a simulation too tame to need the mechanism.
+// Guards against a simulation that cannot detect the absence of a mechanism.
 test('P6: the simulation finds a violation without the link check or the merged verdicts', (t) => {
   for (const variant of [decideWithoutLinks, decideWithoutVerdicts]) {
     const result = fc.check(buildGenerationProperty(variant), { seed: SEED, numRuns: RUNS });
-    t.regex(String(result.errorInstance), TOLD_NOT_RUN);
+    t.regex(String(result.errorInstance), FALSE_NOT_RUN);
   }
 });
 
 const buildKeyedProperty = (mechanisms: Mechanisms) =>
   fc.property(buildCommandList('faults'), (commands) => {
     const { violations } = runCommands(commands, mechanisms);
-    const told = violations.filter((violation) => /was told not-run and ran/.test(violation));
-    if (told.length > 0) throw new Error(told.join('; '));
+    const falseReports = violations.filter((violation) =>
+      /was told not-run and ran/.test(violation),
+    );
+    if (falseReports.length > 0) throw new Error(falseReports.join('; '));
   });
 
-// Guards against a call with a key that is told as not run while its nonce can still start.
-test('P6: a call with a key that is refused as not run was not run', (t) => {
-  fc.assert(buildKeyedProperty(KEPT), { seed: SEED, numRuns: 500 });
+// Guards against a keyed call that is reported as not run while its nonce can still start.
+test('P6: a keyed call that is refused as not run was not run', (t) => {
+  fc.assert(buildKeyedProperty(ALL_MECHANISMS), { seed: SEED, numRuns: 500 });
   t.pass();
 });
 
-// Guards against a simulation too tame to need the fence.
+// Guards against a simulation that cannot detect the absence of the fence.
 test('P6: the simulation finds a violation without the fence', (t) => {
-  const result = fc.check(buildKeyedProperty({ ...KEPT, fence: 'disabled' }), {
+  const result = fc.check(buildKeyedProperty({ ...ALL_MECHANISMS, fence: 'disabled' }), {
     seed: SEED,
     numRuns: RUNS,
     endOnFailure: true,
   });
-  t.regex(String(result.errorInstance), TOLD_NOT_RUN);
+  t.regex(String(result.errorInstance), FALSE_NOT_RUN);
 });
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { createBudgetTable } from './budgetTable.js';
-import { BUDGET_FLOOR, FLOOR_REFILL_PER_MS, RETRY_SHARE } from './constants.js';
+import { BUDGET_FLOOR, FLOOR_REFILL_PER_MS, RETRIES_PER_SUCCESS } from './constants.js';
 import { decideRetry, initRetryBudget, recordSuccess } from './retry.js';
 import type { FailedAttempt } from './types.js';
 import { createRandomSource } from '../../core/random.js';
@@ -31,9 +31,9 @@
   }),
 );
 
-// Guards against a retry storm, a retry of work that may run twice, of a shown answer, or one that
-// starts too late to end in time.
-test('retries stay within budget, deadline and what may be repeated, whatever fails', (t) => {
+// Guards against a retry storm, a retry of work that must not run twice, a retry after a part of
+// the answer was shown, and a retry that starts too late to finish before the deadline.
+test('retries respect the budget, the deadline and repeatability under any failures', (t) => {
   const property = fc.property(fc.array(anyEvent, { maxLength: 300, size: 'max' }), (events) => {
     const random = createRandomSource(SEED);
     let now = 0;
@@ -52,7 +52,7 @@
       budget = outcome.budget;
       if (outcome.decision.kind === 'give-up') continue;
       retries += 1;
-      const allowed = BUDGET_FLOOR + successes * RETRY_SHARE + now * FLOOR_REFILL_PER_MS;
+      const allowed = BUDGET_FLOOR + successes * RETRIES_PER_SUCCESS + now * FLOOR_REFILL_PER_MS;
       if (retries > allowed + 1e-6) throw new Error(`${retries.toString()} retries`);
       if (attempt.shown === 'some') throw new Error('answer was shown');
       if (attempt.repeat === 'never' && verdict !== 'not-run') throw new Error('may run twice');
@@ -65,8 +65,8 @@
   t.pass();
 });
 
-// Guards against a policy that is safe because it never retries.
-test('an idempotent request is retried after a loss, and at once says why when not', (t) => {
+// Guards against a policy that satisfies the property above by never retrying.
+test('an idempotent request is retried after a loss, or given up with the reason', (t) => {
   const attempt = { attempts: 1, repeat: 'idempotent', shown: 'nothing', minimumMs: 10 } as const;
   const lost = createFailure('may-have-run', 'endpoint-lost', 'gone', 40);
   const random = { next: () => 0.5 };
@@ -79,13 +79,13 @@
   t.deepEqual(last.decision, { kind: 'give-up', reason: 'budget-spent' });
 });
 
-// Guards against memory that grows with every customer ever seen.
-test('the table keeps a bounded number of budgets', (t) => {
+// Guards against memory that grows with the number of customers ever seen.
+test('the table drops the least recently updated budget beyond its capacity', (t) => {
   const table = createBudgetTable(2);
   for (const customer of ['a', 'b', 'a', 'c']) {
     table.update(customer, 'lookup', recordSuccess(table.get(customer, 'lookup', 0), 0));
   }
   t.is(table.getSize(), 2);
-  t.is(table.get('a', 'lookup', 0).retries, BUDGET_FLOOR + 2 * RETRY_SHARE);
+  t.is(table.get('a', 'lookup', 0).retries, BUDGET_FLOOR + 2 * RETRIES_PER_SUCCESS);
   t.is(table.get('b', 'lookup', 0).retries, BUDGET_FLOOR);
 });
--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -1,11 +1,11 @@
 import {
-  BACKOFF_FIRST_MS,
+  BACKOFF_BASE_MS,
   BACKOFF_MAX_MS,
   BUDGET_FLOOR,
   BUDGET_MAX,
   FLOOR_REFILL_PER_MS,
   MAX_ATTEMPTS,
-  RETRY_SHARE,
+  RETRIES_PER_SUCCESS,
 } from './constants.js';
 import type { FailedAttempt, GiveUpReason, RetryBudget, RetryOutcome } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -14,17 +14,18 @@
 import type { Failure, FailureCode } from '../../core/verdict.js';
 
 /**
- * Creates the budget of a customer and class that nothing is known of.
+ * Creates the budget of a customer and class without recent requests.
  *
  * @param now - current instant
- * @returns a budget at its floor
+ * @returns a budget at the floor
  */
 export const initRetryBudget = (now: Millis): RetryBudget => ({
   retries: BUDGET_FLOOR,
   updatedAt: now,
 });
 
-const updateFloor = (budget: RetryBudget, now: Millis): RetryBudget => {
+/** Refills a budget below the floor for the time since its last update. */
+const applyFloorRefill = (budget: RetryBudget, now: Millis): RetryBudget => {
   const updatedAt = Math.max(budget.updatedAt, now);
   const refill = (updatedAt - budget.updatedAt) * FLOOR_REFILL_PER_MS;
   const retries = Math.max(budget.retries, Math.min(BUDGET_FLOOR, budget.retries + refill));
@@ -32,18 +33,18 @@
 };
 
 /**
- * Adds what one success pays for.
+ * Adds the credit of one success to a budget.
  *
  * @param budget - budget before the success
  * @param now - current instant
  * @returns the budget after it
  */
 export const recordSuccess = (budget: RetryBudget, now: Millis): RetryBudget => {
-  const { retries, updatedAt } = updateFloor(budget, now);
-  return { retries: Math.min(BUDGET_MAX, retries + RETRY_SHARE), updatedAt };
+  const { retries, updatedAt } = applyFloorRefill(budget, now);
+  return { retries: Math.min(BUDGET_MAX, retries + RETRIES_PER_SUCCESS), updatedAt };
 };
 
-/** Whether another endpoint, or the same one a little later, may answer differently. */
+/** Reports whether a retry, at another endpoint or later at the same one, may succeed. */
 const isTransient = (code: FailureCode): boolean => {
   switch (code) {
     case 'overloaded':
@@ -80,28 +81,31 @@
   }
 };
 
-const checkRequest = (attempt: FailedAttempt, failure: Failure): GiveUpReason | null => {
+const findGiveUpReason = (attempt: FailedAttempt, failure: Failure): GiveUpReason | null => {
   if (attempt.shown === 'some') return 'answer-shown';
   if (failure.verdict !== 'not-run' && attempt.repeat === 'never') return 'may-have-run';
   if (!isTransient(failure.code)) return 'permanent-failure';
   return attempt.attempts >= MAX_ATTEMPTS ? 'attempts-spent' : null;
 };
 
-/** Full jitter: failures at one instant spread over the whole interval. */
+/**
+ * Computes an exponential back-off with full jitter, which spreads the retries of simultaneous
+ * failures over the whole interval.
+ */
 const computeDelay = (attempts: number, failure: Failure, random: RandomSource): Millis => {
-  const limit = Math.min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS * 2 ** (attempts - 1));
+  const limit = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** (attempts - 1));
   return (failure.retryAfterMs ?? 0) + limit * random.next();
 };
 
 /**
- * Decides whether a failed attempt is followed by another one.
+ * Decides whether a failed attempt is retried.
  *
  * @param budget - budget of the request's customer and class
  * @param attempt - the failed attempt and the limits of its request
- * @param failure - why it failed; its verdict covers all attempts so far
+ * @param failure - why it failed, with a verdict that covers all attempts so far
  * @param now - current instant
  * @param random - source of the jitter
- * @returns the decision, and the budget after it
+ * @returns the decision and the budget after it
  */
 export const decideRetry = (
   budget: RetryBudget,
@@ -110,12 +114,12 @@
   now: Millis,
   random: RandomSource,
 ): RetryOutcome => {
-  const current = updateFloor(budget, now);
+  const current = applyFloorRefill(budget, now);
   const giveUp = (reason: GiveUpReason): RetryOutcome => ({
     decision: { kind: 'give-up', reason },
     budget: current,
   });
-  const reason = checkRequest(attempt, failure);
+  const reason = findGiveUpReason(attempt, failure);
   if (reason !== null) return giveUp(reason);
   const delayMs = computeDelay(attempt.attempts, failure, random);
   if (now + delayMs + attempt.minimumMs > attempt.deadline) return giveUp('deadline-too-near');
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -1,23 +1,26 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Retries that one customer may still make in one class. */
+/** Retry budget of one customer in one class. */
 export interface RetryBudget {
+  /** Retries that are left; a fraction is saved until it reaches a whole retry. */
   readonly retries: number;
   readonly updatedAt: Millis;
 }
 
-/** The attempt that failed, and what the request allows. */
+/** A failed attempt and the limits of its request. */
 export interface FailedAttempt {
   /** Attempts made so far, the failed one included. */
   readonly attempts: number;
+  /** `never`: the request must not run twice. */
   readonly repeat: 'idempotent' | 'never';
+  /** Whether the caller has already received a part of the answer. */
   readonly shown: 'nothing' | 'some';
   readonly deadline: Millis;
-  /** Shortest time in which another attempt can still be useful. */
+  /** Minimum time before the deadline that makes another attempt worthwhile. */
   readonly minimumMs: Millis;
 }
 
-/** Why a failed attempt is the last one. */
+/** Why a failed attempt is not retried. */
 export type GiveUpReason =
   | 'permanent-failure'
   | 'answer-shown'
@@ -26,12 +29,12 @@
   | 'deadline-too-near'
   | 'budget-spent';
 
-/** What follows a failed attempt. */
+/** Whether a failed attempt is retried. */
 export type RetryDecision =
   | { readonly kind: 'retry'; readonly delayMs: Millis }
   | { readonly kind: 'give-up'; readonly reason: GiveUpReason };
 
-/** Decision together with the budget that is left. */
+/** Retry decision and the budget after it. */
 export interface RetryOutcome {
   readonly decision: RetryDecision;
   readonly budget: RetryBudget;
