Reword the membership and lease decisions

Comments said what is heard, proposed, trusted or told. They now state arrival, silence, phases, acknowledgements and the lease's expiry. heardAt is lastSeenAt, trustFrom is backlogUntil, and the lease has expiresAt, settlingSince, acknowledgedBy and lastEventAt. Test titles name the failure; the message for a restarted endpoint now says 'as incarnation'.

--- a/packages/decisions/membership/constants.ts
+++ b/packages/decisions/membership/constants.ts
@@ -1,35 +1,42 @@
 /** Interval between two heartbeats of an endpoint daemon. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
-/** Silence after which an endpoint gets no new work: three heartbeats may be lost or late. */
+/**
+ * Silence after which an endpoint is suspect and receives no new work: three lost or late
+ * heartbeats.
+ */
 export const SUSPECT_AFTER_MS = 1_500;
 
-/** Silence after which an endpoint's running work counts as lost. */
+/** Silence after which an endpoint is gone and its work in flight counts as lost. */
 export const GONE_AFTER_MS = 5_000;
 
-/** Time for which a gone endpoint is remembered, so that its older incarnations stay refused. */
+/**
+ * Silence after which an unlisted endpoint is removed. Until then its entry is kept, so that late
+ * heartbeats of older incarnations are ignored.
+ */
 export const FORGET_AFTER_MS = 600_000;
 
 /**
- * Time after a pause of the own process in which heartbeats may have waited in a socket and say
- * nothing about the present.
+ * Time after a pause of this process during which heartbeats may come from a socket buffer and say
+ * nothing about the present state of an endpoint.
  */
 export const BACKLOG_AFTER_PAUSE_MS = 500;
 
-/** Time for which one acknowledged heartbeat lets an endpoint daemon accept new work. */
+/** Duration of the lease that an acknowledged heartbeat grants, counted from its sending. */
 export const LEASE_MS = 2_000;
 
-/** Heartbeats whose time of sending is remembered; covers one lease with a margin. */
-export const SENT_HEARTBEATS_KEPT = 8;
+/** Maximum number of sent heartbeats that are kept; covers one lease with a margin. */
+export const MAX_SENT_HEARTBEATS = 8;
 
 /**
- * Longest time between two events of an endpoint daemon's lease that is not taken for a pause. The
- * daemon ticks at least every quarter of it.
+ * Longest time between two events of a lease that does not count as a pause of the process. The
+ * daemon ticks at least four times within it.
  */
-export const PAUSE_LIMIT_MS = 500;
+export const PAUSE_THRESHOLD_MS = 500;
 
 /**
- * Longest wait for all heartbeat targets after a lapse. An entry daemon that is cut off from the log
- * renews the lease without knowing the newest configuration, so one answer alone is not enough.
+ * Longest wait for the acknowledgements of all heartbeat targets after a lapse. One acknowledgement
+ * is not enough, since an entry daemon that cannot reach the log renews the lease without knowing
+ * the newest configuration.
  */
-export const SETTLE_MS = 2_000;
+export const MAX_SETTLING_MS = 2_000;
--- a/packages/decisions/membership/heartbeatTargets.ts
+++ b/packages/decisions/membership/heartbeatTargets.ts
@@ -1,16 +1,16 @@
 import type { EndpointId, InstanceId } from '../../core/ids.js';
 
-/** Hash of a text, evenly spread over the numbers that it can return. */
+/** Hash function of strings with evenly distributed results. */
 export type TextHash = (text: string) => number;
 
 /**
  * Chooses the entry daemons that an endpoint daemon sends heartbeats to, by rendezvous hashing:
- * when an instance comes or goes, only the choices that involve it change.
+ * when an instance joins or leaves, only the choices that include it change.
  *
  * @param endpoint - endpoint that chooses
  * @param entryInstances - entry instances known to it, in any order
  * @param subsetSize - number of instances to choose
- * @param hash - hash of a text
+ * @param hash - hash function
  * @returns at most `subsetSize` instances, the highest score first
  */
 export const chooseHeartbeatTargets = (
--- a/packages/decisions/membership/lease.ts
+++ b/packages/decisions/membership/lease.ts
@@ -1,4 +1,4 @@
-import { LEASE_MS, PAUSE_LIMIT_MS, SENT_HEARTBEATS_KEPT, SETTLE_MS } from './constants.js';
+import { LEASE_MS, PAUSE_THRESHOLD_MS, MAX_SENT_HEARTBEATS, MAX_SETTLING_MS } from './constants.js';
 import type { LeaseEffect, LeaseEvent, LeaseState, LeaseStatus } from './leaseTypes.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -14,59 +14,71 @@
  * Creates the lease of an endpoint daemon that has just started.
  *
  * @param incarnation - start identity of the daemon
- * @returns a state that accepts no work before an entry daemon acknowledged a heartbeat
+ * @returns a lapsed lease, which heartbeat acknowledgements renew
  */
 export const initLease = (incarnation: Incarnation): LeaseState => ({
   incarnation,
   sent: [],
-  until: 0,
+  expiresAt: 0,
   lease: 'lapsed',
-  settlesSince: 0,
+  settlingSince: 0,
   targets: [],
-  heard: [],
-  seenAt: 0,
+  acknowledgedBy: [],
+  lastEventAt: 0,
   stay: 'staying',
   dataCentre: 'in',
   configurationOffset: -1,
 });
 
-const isPaused = (state: LeaseState, now: Millis): boolean => now - state.seenAt > PAUSE_LIMIT_MS;
+const isPaused = (state: LeaseState, now: Millis): boolean =>
+  now - state.lastEventAt > PAUSE_THRESHOLD_MS;
 
 const resolveStatus = (state: LeaseState, now: Millis): LeaseStatus => {
-  if (now >= state.until) return 'lapsed';
+  if (now >= state.expiresAt) return 'lapsed';
   if (state.lease !== 'settling') return state.lease;
-  const isComplete = state.targets.every((target) => state.heard.includes(target));
-  return isComplete || now - state.settlesSince >= SETTLE_MS ? 'held' : 'settling';
+  const isComplete = state.targets.every((target) => state.acknowledgedBy.includes(target));
+  return isComplete || now - state.settlingSince >= MAX_SETTLING_MS ? 'held' : 'settling';
 };
 
 const updateLease = (state: LeaseState, now: Millis): LeaseStep => {
   const lease = resolveStatus(state, now);
   if (lease === state.lease) return toStep(state);
-  const heard = lease === 'lapsed' ? [] : state.heard;
+  const acknowledgedBy = lease === 'lapsed' ? [] : state.acknowledgedBy;
   return toStep<LeaseState, LeaseEffect>(
-    { ...state, lease, heard },
+    { ...state, lease, acknowledgedBy },
     { kind: 'lease-changed', lease },
   );
 };
 
-/** A pause ends the lease, and answers to heartbeats from before it no longer renew it. */
-const observeTime = (state: LeaseState, now: Millis): LeaseStep => {
-  const current = isPaused(state, now) ? { ...state, sent: [], until: now } : state;
-  return updateLease({ ...current, seenAt: now }, now);
+/**
+ * Applies the time since the last event. A pause of the process ends the lease, and
+ * acknowledgements of heartbeats that were sent before the pause no longer renew it.
+ */
+const applyElapsedTime = (state: LeaseState, now: Millis): LeaseStep => {
+  const current = isPaused(state, now) ? { ...state, sent: [], expiresAt: now } : state;
+  return updateLease({ ...current, lastEventAt: now }, now);
 };
 
-/** The lease counts from the sending, since the answer may have waited anywhere. */
+/** Renews the lease from the instant of sending, since the acknowledgement may be delayed. */
 const handleAcknowledgement = (
   state: LeaseState,
   event: Extract<LeaseEvent, { readonly kind: 'heartbeat-acknowledged' }>,
 ): LeaseStep => {
   const sentAt = state.sent.find((sent) => sent.sequence === event.sequence)?.at;
   if (sentAt === undefined || sentAt + LEASE_MS <= event.now) return toStep(state);
-  const until = Math.max(state.until, sentAt + LEASE_MS);
-  if (state.lease === 'held') return toStep({ ...state, until });
-  const settlesSince = state.lease === 'lapsed' ? event.now : state.settlesSince;
-  const heard = state.heard.includes(event.from) ? state.heard : [...state.heard, event.from];
-  const settling = { ...state, until, settlesSince, heard, lease: 'settling' } as const;
+  const expiresAt = Math.max(state.expiresAt, sentAt + LEASE_MS);
+  if (state.lease === 'held') return toStep({ ...state, expiresAt });
+  const settlingSince = state.lease === 'lapsed' ? event.now : state.settlingSince;
+  const acknowledgedBy = state.acknowledgedBy.includes(event.from)
+    ? state.acknowledgedBy
+    : [...state.acknowledgedBy, event.from];
+  const settling = {
+    ...state,
+    expiresAt,
+    settlingSince,
+    acknowledgedBy,
+    lease: 'settling',
+  } as const;
   return updateLease(settling, event.now);
 };
 
@@ -93,11 +105,11 @@
 
 type TimedEvent = Extract<LeaseEvent, { readonly now: Millis }>;
 
-const decideInTime = (state: LeaseState, event: TimedEvent): LeaseStep => {
+const handleTimedEvent = (state: LeaseState, event: TimedEvent): LeaseStep => {
   switch (event.kind) {
     case 'heartbeat-sent': {
       const sent = [...state.sent, { sequence: event.sequence, at: event.now }];
-      return toStep({ ...state, targets: event.targets, sent: sent.slice(-SENT_HEARTBEATS_KEPT) });
+      return toStep({ ...state, targets: event.targets, sent: sent.slice(-MAX_SENT_HEARTBEATS) });
     }
     case 'heartbeat-acknowledged':
       return handleAcknowledgement(state, event);
@@ -108,7 +120,10 @@
   }
 };
 
-const decideAtOnce = (state: LeaseState, event: Exclude<LeaseEvent, TimedEvent>): LeaseStep => {
+const handleUntimedEvent = (
+  state: LeaseState,
+  event: Exclude<LeaseEvent, TimedEvent>,
+): LeaseStep => {
   switch (event.kind) {
     case 'configuration':
       return updateDataCentre(state, event);
@@ -123,23 +138,24 @@
  * Decides one event of an endpoint daemon's lease.
  *
  * @param state - lease before the event
- * @param event - heartbeat, configuration, leave or tick
- * @returns the next state and the changes to announce
+ * @param event - heartbeat, acknowledgement, configuration, leave or tick
+ * @returns the next state and the changes to act on
  */
 export const decideLease = (state: LeaseState, event: LeaseEvent): LeaseStep => {
-  if (!('now' in event)) return decideAtOnce(state, event);
-  const observed = observeTime(state, event.now);
-  const step = decideInTime(observed.state, event);
+  if (!('now' in event)) return handleUntimedEvent(state, event);
+  const observed = applyElapsedTime(state, event.now);
+  const step = handleTimedEvent(observed.state, event);
   return toStep(step.state, ...observed.effects, ...step.effects);
 };
 
 /**
- * Checks whether an endpoint daemon may accept new work at this instant by its own clock.
+ * Checks whether an endpoint daemon may accept new work.
  *
  * @param state - lease of the daemon
  * @param incarnation - incarnation that the entry daemon addressed
- * @param now - current instant, read when the work is handled and not when it arrived
- * @returns the failure `not-run` to answer with, or null when the work may start
+ * @param now - current instant by the daemon's clock, read when the work is handled and not when it
+ *   arrived
+ * @returns a failure with the verdict `not-run`, or null when the work may start
  */
 export const checkNewWork = (
   state: LeaseState,
@@ -147,8 +163,8 @@
   now: Millis,
 ): Failure | null => {
   if (incarnation !== state.incarnation) {
-    const text = `the endpoint restarted as ${state.incarnation}`;
-    return createFailure('not-run', 'stale-incarnation', text);
+    const message = `the endpoint restarted as incarnation ${state.incarnation}`;
+    return createFailure('not-run', 'stale-incarnation', message);
   }
   if (state.stay === 'leaving') {
     return createFailure('not-run', 'draining', 'the endpoint is leaving');
@@ -158,6 +174,6 @@
   }
   const isHeld = !isPaused(state, now) && resolveStatus(state, now) === 'held';
   if (isHeld) return null;
-  const text = 'the lease of the endpoint daemon has lapsed or is being renewed';
-  return createFailure('not-run', 'endpoint-lost', text);
+  const message = 'the lease of the endpoint daemon has lapsed or is being renewed';
+  return createFailure('not-run', 'endpoint-lost', message);
 };
--- a/packages/decisions/membership/leaseTypes.ts
+++ b/packages/decisions/membership/leaseTypes.ts
@@ -1,35 +1,41 @@
 import type { Millis } from '../../core/clock.js';
 import type { Incarnation, InstanceId, Offset } from '../../core/ids.js';
 
-/** One heartbeat that was sent, by the own clock. */
+/** Heartbeat that was sent. */
 export interface SentHeartbeat {
   readonly sequence: number;
+  /** Instant of sending by the clock of the endpoint daemon. */
   readonly at: Millis;
 }
 
-/** Lease of an endpoint daemon; while it settles, it waits for the answers of more entry daemons. */
+/**
+ * Status of an endpoint daemon's lease. After a lapse it is `settling` until all heartbeat targets
+ * acknowledged a heartbeat, for a limited time; only a `held` lease admits new work.
+ */
 export type LeaseStatus = 'lapsed' | 'settling' | 'held';
 
-/** What an endpoint daemon knows of its own right to accept work. */
+/** State from which an endpoint daemon decides whether it may accept new work. */
 export interface LeaseState {
   readonly incarnation: Incarnation;
+  /** Newest sent heartbeats, oldest first. */
   readonly sent: readonly SentHeartbeat[];
-  /** Instant by the own clock until which new work may be accepted. */
-  readonly until: Millis;
+  /** Instant by the clock of the endpoint daemon at which the lease expires. */
+  readonly expiresAt: Millis;
   readonly lease: LeaseStatus;
-  readonly settlesSince: Millis;
-  /** Entry daemons that the newest heartbeat went to. */
+  readonly settlingSince: Millis;
+  /** Entry daemons that the newest heartbeat was sent to. */
   readonly targets: readonly InstanceId[];
-  /** Entry daemons that answered since the lapse. */
-  readonly heard: readonly InstanceId[];
-  /** Instant of the last event; a long gap is a pause of this process. */
-  readonly seenAt: Millis;
+  /** Entry daemons that acknowledged a heartbeat since the lapse. */
+  readonly acknowledgedBy: readonly InstanceId[];
+  /** Instant of the last timed event; a long gap indicates a pause of this process. */
+  readonly lastEventAt: Millis;
+  /** `leaving` after a leave event; the daemon refuses new work from then on. */
   readonly stay: 'staying' | 'leaving';
   readonly dataCentre: 'in' | 'out';
   readonly configurationOffset: Offset;
 }
 
-/** What happens to an endpoint daemon; it ticks at least every 125 ms. */
+/** Input of a lease decision; the endpoint daemon ticks at least every 125 ms. */
 export type LeaseEvent =
   | {
       readonly kind: 'heartbeat-sent';
@@ -51,11 +57,11 @@
   | { readonly kind: 'leave' }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Changes that the endpoint daemon acts on. */
+/** Output of a lease decision. */
 export type LeaseEffect =
   | { readonly kind: 'lease-changed'; readonly lease: LeaseStatus }
-  /** Starts draining: the next heartbeat says so at once. */
+  /** Starts the drain, which a heartbeat reports without waiting for the next interval. */
   | { readonly kind: 'start-drain' }
   | { readonly kind: 'data-centre-changed'; readonly dataCentre: 'in' | 'out' }
-  /** Sets the admission limit back to its start value, since the endpoint may have turned cold. */
+  /** Resets the admission limit to its start value, since the engine may have become cold. */
   | { readonly kind: 'restart-ramp' };
--- a/packages/decisions/membership/membership.test.ts
+++ b/packages/decisions/membership/membership.test.ts
@@ -13,13 +13,14 @@
 const run = (...events: readonly MembershipEvent<null>[]) =>
   events.reduce((state, event) => decideMembership(state, event).state, initMembership<null>());
 
-// Guards against a late heartbeat that brings a draining endpoint or an older process back.
-test('the newest heartbeat decides, whatever order the heartbeats arrive in', (t) => {
+// Guards against a late heartbeat that makes a draining endpoint or an older incarnation eligible.
+test('the newest heartbeat takes effect in any order of arrival', (t) => {
   fc.assert(buildOrderProperty(), { seed: SEED, numRuns: RUNS });
   t.pass();
 });
 
-// Guards against work for a silent endpoint between two ticks, and against one that never expires.
+// Guards against work for an endpoint that became suspect between two ticks, and against a silent
+// endpoint that never becomes gone.
 test('silence makes an endpoint suspect after 1.5 s and gone after 5 s', (t) => {
   const state = run(buildHeartbeat('i1', 1, 'serving', 0));
   t.is(checkEligibility(state, 'e', 1_499), 'eligible');
@@ -33,8 +34,8 @@
   t.is(checkEligibility(back.state, 'e', 6_000), 'eligible');
 });
 
-// Guards against heartbeats from before a pause of this process that count as news.
-test('after a pause only heartbeats that arrive later than the backlog count', (t) => {
+// Guards against heartbeats from before a pause of this process that make an endpoint eligible.
+test('after a pause, heartbeats of the backlog leave an endpoint suspect', (t) => {
   const paused = run(buildHeartbeat('i1', 1, 'serving', 0), { kind: 'own-pause', now: 900 });
   t.is(checkEligibility(paused, 'e', 900), 'suspect');
   const backlog = decideMembership(paused, buildHeartbeat('i1', 2, 'serving', 1_000)).state;
@@ -43,8 +44,9 @@
   t.is(checkEligibility(fresh, 'e', 1_400), 'eligible');
 });
 
-// Guards against a lagging list that starts, stops or forgets endpoints against their heartbeats.
-test('the list proposes endpoints and marks leaving ones, and heartbeats do the rest', (t) => {
+// Guards against a lagging list that overrides heartbeats: it must neither make an endpoint
+// eligible nor remove one that sends heartbeats.
+test('the list adds endpoints and marks leaving ones; heartbeats determine their phase', (t) => {
   const listed = { endpoint: 'e', dataCentre: 'd', state: 'live' } as const;
   const proposed = run({ kind: 'instance-list', instances: [listed], now: 0 });
   t.is(checkEligibility(proposed, 'e', 0), 'starting');
@@ -63,9 +65,9 @@
 const runLease = (...events: readonly LeaseEvent[]) =>
   events.reduce((state, event) => decideLease(state, event).state, initLease('i1'));
 
-// Guards against a paused process that acts on old knowledge, and against a lease that an entry
-// daemon without the newest configuration renews alone.
-test('a lease counts from the sending, ends with a pause and waits for all targets after it', (t) => {
+// Guards against an endpoint daemon that accepts work after a pause with an expired lease, and
+// against a lease renewed only by an entry daemon without the newest configuration.
+test('a lease starts when the heartbeat is sent, ends with a pause and needs all targets', (t) => {
   const targets = ['a', 'b'];
   const first = runLease(
     { kind: 'heartbeat-sent', sequence: 1, targets, now: 0 },
@@ -90,7 +92,7 @@
 const hashText = (text: string): number =>
   [...text].reduce((sum, char) => Math.imul(sum ^ char.charCodeAt(0), 0x0100_0193) >>> 0, 7);
 
-// Guards against a change of one entry instance that moves the heartbeats of all endpoints.
+// Guards against a removed entry instance that changes the heartbeat targets of all endpoints.
 test('a removed entry instance changes only the choices that included it', (t) => {
   const names = fc.uniqueArray(fc.uuid(), { minLength: 4, maxLength: 30 });
   const property = fc.property(names, fc.uuid(), (instances, endpoint) => {
--- a/packages/decisions/membership/membership.ts
+++ b/packages/decisions/membership/membership.ts
@@ -23,26 +23,26 @@
 type MembershipStep<Report> = Step<MembershipState<Report>, MembershipEffect>;
 
 /**
- * Creates the membership of an entry daemon that has heard nothing yet.
+ * Creates the membership of an entry daemon that has just started.
  *
- * @returns an empty state
+ * @returns a state without endpoints
  */
 export const initMembership = <Report>(): MembershipState<Report> => ({
   endpoints: new Map(),
   dataCentresOut: new Set(),
   configurationOffset: -1,
-  trustFrom: 0,
+  backlogUntil: 0,
 });
 
 const resolvePhase = <Report>(entry: EndpointEntry<Report>, now: Millis): EndpointPhase => {
-  const silence = now - entry.heardAt;
+  const silence = now - entry.lastSeenAt;
   if (silence >= GONE_AFTER_MS) return 'gone';
   if (entry.newest === null) return 'starting';
   if (silence >= SUSPECT_AFTER_MS) return 'suspect';
   return entry.listed === 'leaving' ? 'draining' : entry.newest.phase;
 };
 
-/** Writes an entry and tells about its change of phase. */
+/** Stores an entry with its phase and reports a change of the phase. */
 const updateEntry = <Report>(
   state: MembershipState<Report>,
   entry: EndpointEntry<Report>,
@@ -55,7 +55,7 @@
   return [{ kind: 'phase-changed', endpoint: entry.endpoint, incarnation, from, to: phase }];
 };
 
-const checkOrder = <Report>(
+const compareHeartbeats = <Report>(
   known: Heartbeat<Report> | null,
   heartbeat: Heartbeat<Report>,
 ): 'newer' | 'older-incarnation' | 'older-sequence' => {
@@ -64,14 +64,14 @@
   return heartbeat.sequence > known.sequence ? 'newer' : 'older-sequence';
 };
 
-const takeHeartbeat = <Report>(
+const handleHeartbeat = <Report>(
   state: MembershipState<Report>,
   heartbeat: Heartbeat<Report>,
   now: Millis,
 ): MembershipStep<Report> => {
   const { endpoint, dataCentre, incarnation, sequence } = heartbeat;
   const known = state.endpoints.get(endpoint);
-  const order = checkOrder(known?.newest ?? null, heartbeat);
+  const order = compareHeartbeats(known?.newest ?? null, heartbeat);
   if (order !== 'newer')
     return toStep(state, { kind: 'heartbeat-ignored', endpoint, reason: order });
   const entry: EndpointEntry<Report> = {
@@ -80,9 +80,9 @@
     phase: known?.phase ?? 'starting',
     listed: known?.listed ?? 'unlisted',
     newest: heartbeat,
-    heardAt: now,
+    lastSeenAt: now,
   };
-  const isBacklog = now < state.trustFrom;
+  const isBacklog = now < state.backlogUntil;
   const changes = updateEntry(state, entry, isBacklog ? 'suspect' : resolvePhase(entry, now));
   const older = known?.newest?.incarnation;
   const replaced: readonly MembershipEffect[] =
@@ -97,13 +97,13 @@
   });
 };
 
-/** Phase without a new heartbeat: a suspect stays so, and may become gone. */
+/** Resolves the phase without a new heartbeat: a suspect endpoint stays suspect or becomes gone. */
 const resolveSilentPhase = <Report>(entry: EndpointEntry<Report>, now: Millis): EndpointPhase => {
   const phase = resolvePhase(entry, now);
   return entry.phase === 'suspect' && phase !== 'gone' ? 'suspect' : phase;
 };
 
-const takeList = <Report>(
+const applyInstanceList = <Report>(
   state: MembershipState<Report>,
   instances: readonly ListedInstance[],
   now: Millis,
@@ -123,7 +123,7 @@
       phase: 'starting',
       listed: instance.state,
       newest: null,
-      heardAt: now,
+      lastSeenAt: now,
     };
     effects.push(...updateEntry(state, entry, 'starting'));
   }
@@ -144,8 +144,8 @@
 ): MembershipStep<Report> => {
   const effects: MembershipEffect[] = [];
   for (const entry of state.endpoints.values()) {
-    const isForgotten = entry.listed === 'unlisted' && now - entry.heardAt >= FORGET_AFTER_MS;
-    if (isForgotten) effects.push(...removeEntry(state, entry));
+    const isExpired = entry.listed === 'unlisted' && now - entry.lastSeenAt >= FORGET_AFTER_MS;
+    if (isExpired) effects.push(...removeEntry(state, entry));
     else effects.push(...updateEntry(state, entry, resolveSilentPhase(entry, now)));
   }
   return toStep(state, ...effects);
@@ -160,16 +160,16 @@
     const phase = entry.phase === 'gone' || entry.newest === null ? entry.phase : 'suspect';
     effects.push(...updateEntry(state, entry, phase));
   }
-  return toStep({ ...state, trustFrom: now + BACKLOG_AFTER_PAUSE_MS }, ...effects);
+  return toStep({ ...state, backlogUntil: now + BACKLOG_AFTER_PAUSE_MS }, ...effects);
 };
 
 /**
- * Decides one event of an entry daemon's membership. Heartbeats decide about an endpoint; the
- * instance list only proposes it, or marks it as leaving.
+ * Decides one event of an entry daemon's membership. Heartbeats determine the phase of an endpoint;
+ * the instance list only adds endpoints and marks them as leaving.
  *
  * @param state - membership before the event; its table is updated in place
  * @param event - heartbeat, instance list, configuration, pause or tick
- * @returns the next state and the changes to announce
+ * @returns the next state and the changes to act on
  */
 export const decideMembership = <Report>(
   state: MembershipState<Report>,
@@ -177,9 +177,9 @@
 ): MembershipStep<Report> => {
   switch (event.kind) {
     case 'heartbeat':
-      return takeHeartbeat(state, event.heartbeat, event.now);
+      return handleHeartbeat(state, event.heartbeat, event.now);
     case 'instance-list':
-      return takeList(state, event.instances, event.now);
+      return applyInstanceList(state, event.instances, event.now);
     case 'configuration': {
       if (event.offset <= state.configurationOffset) return toStep(state);
       const dataCentresOut = new Set(event.dataCentresOut);
@@ -195,13 +195,13 @@
 };
 
 /**
- * Tells whether new work may go to an endpoint. Silence counts from the given instant, so a late
- * tick gives nothing to an endpoint that has become suspect.
+ * Checks whether an endpoint may receive new work. The silence is computed for the given instant,
+ * so a suspect endpoint receives no work when a tick is late.
  *
  * @param state - membership
- * @param endpoint - endpoint asked for
+ * @param endpoint - endpoint to check
  * @param now - current instant
- * @returns `eligible`, or the reason against it
+ * @returns `eligible`, or the reason why not
  */
 export const checkEligibility = <Report>(
   state: MembershipState<Report>,
@@ -227,11 +227,11 @@
 };
 
 /**
- * Lists the endpoints that may get new work.
+ * Lists the endpoints that may receive new work.
  *
  * @param state - membership
  * @param now - current instant
- * @returns entries with a newest heartbeat, in the order in which they became known
+ * @returns entries that have a heartbeat, in the order in which the endpoints became known
  */
 export const listEligible = <Report>(
   state: MembershipState<Report>,
--- a/packages/decisions/membership/membershipProperty.fixture.ts
+++ b/packages/decisions/membership/membershipProperty.fixture.ts
@@ -6,25 +6,25 @@
 const MAX_SEED = 2 ** 31 - 1;
 
 /**
- * Builds the property of P3 or P8: nothing is accepted later than 3 s after the change.
+ * Builds the property of P3 or P8: no new work is accepted later than 3 s after the change.
  *
- * @param change - what happens in each run
- * @returns a fast-check property that throws with the violation
+ * @param change - change in each run
+ * @returns a fast-check property that throws an error with the violation
  */
 export const buildChangeProperty = (change: 'endpoint-leaves' | 'data-centre-out') =>
   fc.property(fc.nat(MAX_SEED), (seed) => {
     const { acceptedLate, acceptedBefore } = runMembershipChange(seed, change, 'both');
-    if (acceptedLate > 0) throw new Error(`${acceptedLate.toString()} pieces of work after 3 s`);
-    if (acceptedBefore === 0) throw new Error('nothing was accepted before the change');
+    if (acceptedLate > 0) throw new Error(`${acceptedLate.toString()} requests accepted after 3 s`);
+    if (acceptedBefore === 0) throw new Error('no request was accepted before the change');
   });
 
 /**
  * Builds a heartbeat of the endpoint `e`.
  *
  * @param incarnation - incarnation of its daemon
- * @param sequence - number of the heartbeat
- * @param phase - phase that it reports
- * @param now - instant of its arrival
+ * @param sequence - sequence number of the heartbeat
+ * @param phase - reported phase
+ * @param now - instant of arrival
  * @returns the event
  */
 export const buildHeartbeat = (
@@ -38,7 +38,7 @@
 };
 
 /**
- * Builds the property that the newest heartbeat decides, whatever order they arrive in.
+ * Builds the property that the newest heartbeat takes effect in any order of arrival.
  *
  * @returns a fast-check property
  */
--- a/packages/decisions/membership/membershipSimulation.fixture.ts
+++ b/packages/decisions/membership/membershipSimulation.fixture.ts
@@ -6,20 +6,20 @@
 import type { RandomSource } from '../../core/random.js';
 import { createRandomSource } from '../../core/random.js';
 
-/** Which of the two places that stop new work are active. */
+/** Active checks of new work: eligibility at the entry daemon, lease at the endpoint daemon. */
 export type Enforcement = 'both' | 'entry-only' | 'endpoint-only';
 
 export interface SimulationResult {
-  /** Pieces of work that an endpoint accepted although it had to be free of them. */
+  /** Requests that an affected endpoint accepted later than 3 s after the change. */
   readonly acceptedLate: number;
-  /** Pieces of work that were sent to it all the same, whether it accepted them or not. */
+  /** Requests that were sent to it later than 3 s after the change, accepted or not. */
   readonly sentLate: number;
-  /** Pieces of work accepted before the change, to show that the system works at all. */
+  /** Requests that it accepted before the change; 0 would mean that a run proves nothing. */
   readonly acceptedBefore: number;
 }
 
 interface Process {
-  /** Messages that wait for the process, oldest first. */
+  /** Messages in transit to the process or queued while it is paused, in order of sending. */
   readonly inbox: { readonly at: number; readonly handle: () => void }[];
   /** Pauses as [from, to] pairs. */
   readonly pauses: readonly (readonly [number, number])[];
@@ -28,7 +28,7 @@
 interface Entry extends Process {
   readonly log: 'up' | 'out';
   membership: MembershipState<null>;
-  wokeAt: number;
+  lastRunAt: number;
 }
 
 interface Endpoint extends Process {
@@ -41,10 +41,10 @@
 const STEP_MS = 50;
 const CHANGE_AT_MS = 6_000;
 const END_AT_MS = 14_000;
-const BOUND_MS = 3_000;
+const PROPAGATION_BOUND_MS = 3_000;
 const MAX_DELAY_MS = 400;
 const PEER_INTERVAL_MS = 500;
-const TARGETS = ['0', '1', '2'];
+const HEARTBEAT_TARGETS = ['0', '1', '2'];
 const INCARNATION = 'i1';
 
 const sampleBetween = (random: RandomSource, from: number, to: number): number =>
@@ -56,17 +56,17 @@
 };
 
 /**
- * Runs three entry and four endpoint daemons in two data centres through one change.
+ * Simulates one change to three entry and four endpoint daemons in two data centres.
  *
- * Faults: any message but two in a row of one link is lost, messages take up to 400 ms, processes
- * pause for up to 5 s with full inboxes, the list lags up to 10 s, and the first entry daemon has
- * no access to the log or its peers. Endpoint `n0` leaves, or data centre `east` is taken out, at
- * 6 s; the operator talks to the second entry daemon.
+ * At 6 s endpoint `n0` leaves, or an operator takes data centre `east` out through the second entry
+ * daemon. Faults: messages take up to 400 ms or are lost, but never two in a row on one link;
+ * processes pause for up to 5 s while messages queue; the instance list lags up to 10 s; the first
+ * entry daemon reaches neither the log nor its peers.
  *
  * @param seed - seed of all faults
- * @param change - what happens
- * @param enforcement - which checks are active
- * @returns what was accepted and sent later than 3 s after the change
+ * @param change - change to simulate
+ * @param enforcement - active checks
+ * @returns numbers of accepted and sent requests
  */
 export const runMembershipChange = (
   seed: number,
@@ -87,7 +87,7 @@
     pauses: index === 1 ? [] : samplePauses(random),
     log: index === 0 ? 'out' : 'up',
     membership: initMembership(),
-    wokeAt: 0,
+    lastRunAt: 0,
   }));
   const endpoints: readonly Endpoint[] = [0, 1, 2, 3].map((index) => ({
     inbox: [],
@@ -119,7 +119,7 @@
     endpoint.lease = decideLease(endpoint.lease, event).state;
   };
 
-  const learnOut = (entry: Entry): void => {
+  const applyDataCentreOut = (entry: Entry): void => {
     stepEntry(entry, { kind: 'configuration', dataCentresOut: ['east'], offset: 1 });
   };
 
@@ -140,7 +140,7 @@
     endpoint.sequence += 1;
     const { id, dataCentre, sequence, lease } = endpoint;
     const phase = lease.stay === 'leaving' ? 'draining' : 'serving';
-    stepLease(endpoint, { kind: 'heartbeat-sent', sequence, targets: TARGETS, now });
+    stepLease(endpoint, { kind: 'heartbeat-sent', sequence, targets: HEARTBEAT_TARGETS, now });
     entries.forEach((entry, index) => {
       const link = `${id} to ${index.toString()}`;
       const heartbeat = {
@@ -164,7 +164,7 @@
     const refusal = checkNewWork(endpoint.lease, INCARNATION, now);
     if (enforcement !== 'entry-only' && refusal !== null) return;
     if (!isAffected(endpoint)) return;
-    if (now > CHANGE_AT_MS + BOUND_MS) acceptedLate += 1;
+    if (now > CHANGE_AT_MS + PROPAGATION_BOUND_MS) acceptedLate += 1;
     if (now < CHANGE_AT_MS) acceptedBefore += 1;
   };
 
@@ -172,7 +172,7 @@
     const eligibility = checkEligibility(entry.membership, endpoint.id, now);
     if (eligibility === 'unknown') return;
     if (enforcement !== 'endpoint-only' && eligibility !== 'eligible') return;
-    if (isAffected(endpoint) && now > CHANGE_AT_MS + BOUND_MS) sentLate += 1;
+    if (isAffected(endpoint) && now > CHANGE_AT_MS + PROPAGATION_BOUND_MS) sentLate += 1;
     post(endpoint, random.next() * MAX_DELAY_MS, () => {
       handleWork(endpoint);
     });
@@ -187,14 +187,15 @@
 
   const runEntry = (entry: Entry): void => {
     if (isPaused(entry)) return;
-    if (now - entry.wokeAt > 1_000) stepEntry(entry, { kind: 'own-pause', now });
-    entry.wokeAt = now;
-    // Work goes out before the inbox is read, as a process that wakes up would do at worst.
+    if (now - entry.lastRunAt > 1_000) stepEntry(entry, { kind: 'own-pause', now });
+    entry.lastRunAt = now;
+    // Sends work before the inbox is read, the worst order for a process that resumes after a
+    // pause.
     for (const endpoint of endpoints) sendWork(entry, endpoint);
     runInbox(entry);
     stepEntry(entry, { kind: 'tick', now });
     const isChanged = change === 'data-centre-out' && now >= CHANGE_AT_MS;
-    if (isChanged && entry.log === 'up' && now % PEER_INTERVAL_MS === 0) learnOut(entry);
+    if (isChanged && entry.log === 'up' && now % PEER_INTERVAL_MS === 0) applyDataCentreOut(entry);
     const isListed = change === 'endpoint-leaves' && now >= CHANGE_AT_MS + listLag;
     const instances = endpoints.map(({ id, dataCentre }) => ({
       endpoint: id,
@@ -218,7 +219,8 @@
         stepLease(leaving, { kind: 'leave' });
       });
     }
-    if (now === CHANGE_AT_MS && change === 'data-centre-out') learnOut(entries[1] as Entry);
+    if (now === CHANGE_AT_MS && change === 'data-centre-out')
+      applyDataCentreOut(entries[1] as Entry);
     entries.forEach(runEntry);
     endpoints.forEach(runEndpoint);
   }
@@ -226,12 +228,12 @@
 };
 
 /**
- * Adds up the results of many seeds.
+ * Merges the results of the seeds from 1 to `runs`.
  *
- * @param runs - number of seeds, from 1
- * @param change - what happens in each run
- * @param enforcement - which checks are active
- * @returns sums over all runs, with `acceptedBefore` as the smallest of any run
+ * @param runs - number of seeds
+ * @param change - change to simulate in each run
+ * @param enforcement - active checks
+ * @returns sums over all runs, and the minimum of `acceptedBefore`
  */
 export const runManyChanges = (
   runs: number,
--- a/packages/decisions/membership/types.ts
+++ b/packages/decisions/membership/types.ts
@@ -1,43 +1,45 @@
 import type { Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId, Incarnation, Offset } from '../../core/ids.js';
 
-/** Phase that an endpoint daemon reports of itself. */
+/** Phase that an endpoint daemon reports in its heartbeats. */
 export type ReportedPhase = 'starting' | 'ramping' | 'serving' | 'draining';
 
-/** Phase of an endpoint as an entry daemon sees it. */
+/** Phase of an endpoint from the view of an entry daemon; silence adds `suspect` and `gone`. */
 export type EndpointPhase = ReportedPhase | 'suspect' | 'gone';
 
-/** What the instance list says of an endpoint. */
+/** State of an endpoint in the instance list. */
 export type ListedState = 'live' | 'leaving' | 'unlisted';
 
-/** Whether new work may go to an endpoint now, or why not. */
+/** Whether an endpoint may receive new work now, or the reason why not. */
 export type Eligibility =
   'eligible' | 'unknown' | 'starting' | 'draining' | 'suspect' | 'gone' | 'data-centre-out';
 
-/** One heartbeat; `report` is load and evidence, opaque to membership. */
+/**
+ * Heartbeat of an endpoint daemon. `report` holds load and evidence that membership doesn't read.
+ */
 export interface Heartbeat<Report> {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
   readonly incarnation: Incarnation;
-  /** Counts the heartbeats of one incarnation. */
+  /** Increases with each heartbeat of one incarnation. */
   readonly sequence: number;
   readonly phase: ReportedPhase;
   readonly report: Report;
 }
 
-/** Everything that an entry daemon knows of one endpoint. */
+/** State of one endpoint in an entry daemon. */
 export interface EndpointEntry<Report> {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
   readonly phase: EndpointPhase;
   readonly listed: ListedState;
-  /** Newest heartbeat, or null while only the list proposed the endpoint. */
+  /** Newest heartbeat, or null while the endpoint is known only from the instance list. */
   readonly newest: Heartbeat<Report> | null;
-  /** Instant of the newest heartbeat, or of the proposal. */
-  readonly heardAt: Millis;
+  /** Arrival of the newest heartbeat, or the instant at which the list first named the endpoint. */
+  readonly lastSeenAt: Millis;
 }
 
-/** Endpoint in the instance list, which lags. */
+/** Endpoint in the instance list, which lags behind the platform. */
 export interface ListedInstance {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
@@ -46,17 +48,19 @@
 
 /**
  * Endpoints known to an entry daemon. The table is updated in place, so that a heartbeat costs O(1)
- * at 512 endpoints; only `membership.ts` writes to it.
+ * at 512 endpoints; only `membership.ts` updates it.
  */
 export interface MembershipState<Report> {
   readonly endpoints: Map<EndpointId, EndpointEntry<Report>>;
   readonly dataCentresOut: ReadonlySet<DataCentreId>;
   readonly configurationOffset: Offset;
-  /** Heartbeats that arrive before this instant may be older than a pause of this process. */
-  readonly trustFrom: Millis;
+  /**
+   * Heartbeats that arrive before this instant may have been sent before a pause of this process.
+   */
+  readonly backlogUntil: Millis;
 }
 
-/** What an entry daemon learns of endpoints. */
+/** Input of a membership decision. */
 export type MembershipEvent<Report> =
   | { readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat<Report>; readonly now: Millis }
   | {
@@ -69,10 +73,11 @@
       readonly dataCentresOut: readonly DataCentreId[];
       readonly offset: Offset;
     }
+  /** This process was paused. */
   | { readonly kind: 'own-pause'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Changes that the other children of the entry daemon act on. */
+/** Output of a membership decision, for the other children of the entry daemon. */
 export type MembershipEffect =
   | {
       readonly kind: 'phase-changed';
@@ -81,14 +86,14 @@
       readonly from: EndpointPhase | null;
       readonly to: EndpointPhase;
     }
-  /** Running work of the older incarnation is lost. */
+  /** The endpoint restarted; work in flight at the older incarnation is lost. */
   | {
       readonly kind: 'incarnation-replaced';
       readonly endpoint: EndpointId;
       readonly older: Incarnation;
       readonly newer: Incarnation;
     }
-  /** Answers the heartbeat, which renews the endpoint daemon's lease. */
+  /** Acknowledges a heartbeat, which renews the endpoint daemon's lease. */
   | {
       readonly kind: 'acknowledge';
       readonly endpoint: EndpointId;
@@ -100,4 +105,5 @@
       readonly endpoint: EndpointId;
       readonly reason: 'older-incarnation' | 'older-sequence';
     }
+  /** The endpoint was removed from the table. */
   | { readonly kind: 'forgotten'; readonly endpoint: EndpointId };
