Reword the fuzzing runs and their suites

Comments said that violations are told, repeated and go on, and that a check kept what it tried. They now say replay, reproduce and time limit, and why a failed fast-check run without a counterexample is no violation. The printed hint reads 'reproduce with: npm run fuzz ...' instead of 'again: ...'.

--- a/packages/decisions/fuzz/constants.ts
+++ b/packages/decisions/fuzz/constants.ts
@@ -1,8 +1,8 @@
-/** Time given to one suite before the next one's turn. */
-export const SLICE_MS = 2_000;
+/** Time for which one suite runs before the next one. */
+export const TIME_SLICE_MS = 2_000;
 
-/** Time given to the search for a smaller counterexample. */
-export const SHRINK_MS = 20_000;
+/** Time limit of the search for a smaller counterexample. */
+export const SHRINK_TIME_LIMIT_MS = 20_000;
 
-/** Runs of one check; its time limit ends it earlier. */
+/** Maximum runs of one check; the time limit usually ends it earlier. */
 export const MAX_RUNS = 1_000_000;
--- a/packages/decisions/fuzz/runSuites.test.ts
+++ b/packages/decisions/fuzz/runSuites.test.ts
@@ -1,13 +1,13 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { SLICE_MS } from './constants.js';
+import { TIME_SLICE_MS } from './constants.js';
 import { replayPath, runSuites } from './runSuites.js';
 import { buildSuite } from './suites.fixture.js';
 import type { CheckParameters, FuzzSuite } from './types.js';
 
 const SMALL_BOUND = 5_000;
 
-const buildViolated = (): FuzzSuite =>
+const buildFailingSuite = (): FuzzSuite =>
   buildSuite(
     'violated',
     fc.property(fc.nat(100_000), (value) => {
@@ -15,8 +15,8 @@
     }),
   );
 
-/** A suite that takes its whole slice of the virtual time and keeps its property. */
-const buildKept = (clock: { now: number }, checks: CheckParameters[]): FuzzSuite => ({
+/** Builds a suite that uses its whole slice of the virtual time and finds no violation. */
+const buildPassingSuite = (clock: { now: number }, checks: CheckParameters[]): FuzzSuite => ({
   name: 'kept',
   check: (parameters) => {
     checks.push(parameters);
@@ -25,13 +25,14 @@
   },
 });
 
-// Guards against a violation that is not told, or told without what is needed to repeat it.
-test('a violation is reported with the seed and path that repeat it', (t) => {
+// Guards against a violation that is not reported, or that the report does not suffice to
+// reproduce.
+test('a violation is reported with the seed and path that reproduce it', (t) => {
   const clock = { now: 0 };
   const checks: CheckParameters[] = [];
   const lines: string[] = [];
-  const suites = [buildViolated(), buildKept(clock, checks)];
-  const inputs = { seed: 42, durationMs: 3 * SLICE_MS, now: () => clock.now };
+  const suites = [buildFailingSuite(), buildPassingSuite(clock, checks)];
+  const inputs = { seed: 42, durationMs: 3 * TIME_SLICE_MS, now: () => clock.now };
   const { runs, violations } = runSuites(suites, { ...inputs, print: (line) => lines.push(line) });
   t.is(lines[0], 'seed 42');
   t.is(violations.length, 1);
@@ -39,9 +40,9 @@
   t.like(violation, { suite: 'violated', seed: 42, counterexample: '[5000]' });
   t.is(violation?.error, '5000 is too large');
   t.true(lines.some((line) => line.includes(`seed 42, path ${violation?.path ?? ''}`)));
-  const again = replayPath(buildViolated(), 42, violation?.path ?? '', () => undefined);
+  const again = replayPath(buildFailingSuite(), 42, violation?.path ?? '', () => undefined);
   t.like(again.violations[0], { counterexample: '[5000]', error: '5000 is too large' });
-  // The other suite goes on with a new seed in each round, until the time is over.
+  // The other suite continues with a new seed in each round until the duration has passed.
   t.deepEqual(
     checks.map(({ seed }) => seed),
     [42, 43, 44],
@@ -49,8 +50,8 @@
   t.is(runs.get('kept'), 30);
 });
 
-// Guards against a counterexample that is reported although the property holds.
-test('a path that leads to no violation is told as none', (t) => {
+// Guards against a replay that reports a violation although the property holds.
+test('the replay of a path without a violation reports none', (t) => {
   const kept = buildSuite(
     'kept',
     fc.property(fc.nat(), (value) => value >= 0),
--- a/packages/decisions/fuzz/runSuites.ts
+++ b/packages/decisions/fuzz/runSuites.ts
@@ -1,21 +1,29 @@
-import { MAX_RUNS, SHRINK_MS, SLICE_MS } from './constants.js';
+import { MAX_RUNS, SHRINK_TIME_LIMIT_MS, TIME_SLICE_MS } from './constants.js';
 import type { CheckResult, FuzzReport, FuzzSuite, FuzzViolation } from './types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** What a fuzzing run needs of its surroundings. */
+/** Inputs of a fuzzing run. */
 export interface FuzzInputs {
   readonly seed: number;
   readonly durationMs: Millis;
   readonly now: () => Millis;
+  /** Writes one line of output. */
   readonly print: (line: string) => void;
 }
 
-type Violated = Extract<CheckResult, { readonly kind: 'violated' }>;
+type ViolatedResult = Extract<CheckResult, { readonly kind: 'violated' }>;
 
-/** The time limit of a slice also ends its search for a smaller counterexample; this goes on. */
-const findSmaller = (suite: FuzzSuite, found: Violated): Violated => {
+/**
+ * Continues the search for a smaller counterexample, which the time limit of the slice interrupts.
+ */
+const findSmallerCounterexample = (suite: FuzzSuite, found: ViolatedResult): ViolatedResult => {
   const { seed, path } = found;
-  const parameters = { seed, path, numRuns: MAX_RUNS, interruptAfterTimeLimit: SHRINK_MS };
+  const parameters = {
+    seed,
+    path,
+    numRuns: MAX_RUNS,
+    interruptAfterTimeLimit: SHRINK_TIME_LIMIT_MS,
+  };
   const result = suite.check(parameters);
   return result.kind === 'violated' ? result : found;
 };
@@ -25,51 +33,53 @@
   print(`violation of ${suite}: ${violation.error}`);
   print(`seed ${seed.toString()}, path ${path}`);
   print(`counterexample ${violation.counterexample}`);
-  print(`again: npm run fuzz -- --suite ${suite} --seed ${seed.toString()} --path ${path}`);
+  print(
+    `reproduce with: npm run fuzz -- --suite ${suite} --seed ${seed.toString()} --path ${path}`,
+  );
 };
 
 /**
- * Runs the suites in turn until the time is over. Round n uses the seed plus n, so that one number
- * repeats the whole order; a suite with a violation is not run again.
+ * Runs the suites in turn until the duration has passed. Round n uses the seed plus n, so that one
+ * seed reproduces all rounds. A suite with a violation is not run again.
  *
  * @param suites - suites to run
  * @param inputs - seed, duration, clock and output
- * @returns runs of each suite and the violations found
+ * @returns the runs of each suite and the violations
  */
 export const runSuites = (suites: readonly FuzzSuite[], inputs: FuzzInputs): FuzzReport => {
   const { now, print } = inputs;
-  const sliceMs = Math.min(SLICE_MS, inputs.durationMs / suites.length);
+  const sliceMs = Math.min(TIME_SLICE_MS, inputs.durationMs / suites.length);
   const endAt = now() + inputs.durationMs;
   const runs = new Map(suites.map(({ name }) => [name, 0]));
   const violations: FuzzViolation[] = [];
   print(`seed ${inputs.seed.toString()}`);
-  let left = suites;
-  for (let round = 0; left.length > 0 && now() < endAt; round += 1) {
+  let remaining = suites;
+  for (let round = 0; remaining.length > 0 && now() < endAt; round += 1) {
     const seed = (inputs.seed + round) | 0;
-    for (const suite of left) {
+    for (const suite of remaining) {
       const limit = Math.min(sliceMs, endAt - now());
       if (limit <= 0) break;
       const result = suite.check({ seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: limit });
       runs.set(suite.name, (runs.get(suite.name) ?? 0) + result.runs);
       if (result.kind === 'kept') continue;
-      const { path, counterexample, error } = findSmaller(suite, result);
+      const { path, counterexample, error } = findSmallerCounterexample(suite, result);
       const violation = { suite: suite.name, seed, path, counterexample, error };
       violations.push(violation);
       printViolation(violation, print);
-      left = left.filter(({ name }) => name !== suite.name);
+      remaining = remaining.filter(({ name }) => name !== suite.name);
     }
   }
   return { runs, violations };
 };
 
 /**
- * Runs one known counterexample again.
+ * Replays a known counterexample.
  *
- * @param suite - suite that it violates
+ * @param suite - suite whose property it violates
  * @param seed - seed of the check that found it
  * @param path - path of the counterexample
- * @param print - output
- * @returns the report of this one run
+ * @param print - writes one line of output
+ * @returns the report of this single run
  */
 export const replayPath = (
   suite: FuzzSuite,
--- a/packages/decisions/fuzz/suites.fixture.ts
+++ b/packages/decisions/fuzz/suites.fixture.ts
@@ -20,17 +20,22 @@
 import { buildShutdownProperty } from '../streams/shutdownProperty.fixture.js';
 import { buildAnswersProperty, buildTokensProperty } from '../streams/streamProperties.fixture.js';
 
-const KEPT: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+const ALL_IDEMPOTENCY_MECHANISMS: Mechanisms = {
+  fence: 'kept',
+  readBack: 'kept',
+  carryForward: 'kept',
+};
 
 const buildAtMostOnceProperty = (profile: 'faults' | 'retention') =>
   fc.property(buildCommandList(profile), (commands) => {
-    const { violations } = runCommands(commands, KEPT);
+    const { violations } = runCommands(commands, ALL_IDEMPOTENCY_MECHANISMS);
     if (violations.length > 0) throw new Error(violations.join('; '));
   });
 
 const toResult = <Inputs>(details: fc.RunDetails<Inputs>): CheckResult => {
   const { failed, numRuns, seed, counterexample, counterexamplePath, errorInstance } = details;
-  // A check that its time limit ends without a counterexample has kept what it tried.
+  // fast-check also marks a check as failed that is interrupted before its first successful run;
+  // without a counterexample no run violated the property.
   if (!failed || counterexamplePath === null) return { kind: 'kept', runs: numRuns };
   return {
     kind: 'violated',
@@ -43,10 +48,10 @@
 };
 
 /**
- * Builds a suite of one property.
+ * Builds a suite from a property.
  *
- * @param name - subject and promise
- * @param property - the property with its generator
+ * @param name - subject and property, separated by a slash
+ * @param property - property with its generator
  * @returns the suite
  */
 export const buildSuite = <Inputs>(name: string, property: fc.IProperty<Inputs>): FuzzSuite => ({
@@ -54,7 +59,7 @@
   check: (parameters: CheckParameters) => toResult(fc.check(property, parameters)),
 });
 
-/** Stateful and property suites of the decisions; `npm run fuzz` runs them in turn. */
+/** Property suites of the decisions, stateful ones included; `npm run fuzz` runs them in turn. */
 export const FUZZ_SUITES: readonly FuzzSuite[] = [
   buildSuite('at-most-once/faults', buildAtMostOnceProperty('faults')),
   buildSuite('at-most-once/retention', buildAtMostOnceProperty('retention')),
--- a/packages/decisions/fuzz/types.ts
+++ b/packages/decisions/fuzz/types.ts
@@ -1,22 +1,22 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Parameters of fast-check that make one check repeatable. */
+/** Parameters of one fast-check run; with the same seed and path it is reproducible. */
 export interface CheckParameters {
   readonly seed: number;
   readonly numRuns: number;
-  /** Path of a known counterexample; only it is run. */
+  /** Path of a known counterexample, which the check replays. */
   readonly path?: string;
-  /** Time after which the check ends without a verdict on the runs that are left. */
+  /** Time after which the check ends; the remaining runs are not executed. */
   readonly interruptAfterTimeLimit?: Millis;
 }
 
-/** A property that a promise or a decision must have, with its generator of inputs. */
+/** Property of a promise or a decision, with the generator of its inputs. */
 export interface FuzzSuite {
   readonly name: string;
   readonly check: (parameters: CheckParameters) => CheckResult;
 }
 
-/** What one check showed. */
+/** Result of one check; `kept` means that no run violated the property. */
 export type CheckResult =
   | { readonly kind: 'kept'; readonly runs: number }
   | {
@@ -28,7 +28,7 @@
       readonly error: string;
     };
 
-/** Counterexample of a suite. */
+/** Violation of a suite's property, with what is needed to reproduce it. */
 export interface FuzzViolation {
   readonly suite: string;
   readonly seed: number;
@@ -37,9 +37,9 @@
   readonly error: string;
 }
 
-/** Result of a whole fuzzing run. */
+/** Result of a fuzzing run. */
 export interface FuzzReport {
-  /** Runs of each suite by its name. */
+  /** Number of runs by suite name. */
   readonly runs: ReadonlyMap<string, number>;
   readonly violations: readonly FuzzViolation[];
 }
