Reword the platform clients

Comments spoke of answers that are overdue, roots, times of retry and how far a request got. They now say response, timeout, base URL, retry delay and whether a connection was established. close() destroys the agent, so its comment no longer says that running requests finish first. Two error messages say 'response' instead of 'answer'.

--- a/packages/platform/client/answers.ts
+++ b/packages/platform/client/answers.ts
@@ -6,36 +6,37 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
 
-/** Name of a service in messages, and the code of its outage. */
-export interface ServiceName {
+/** A service of the platform: its name in messages and the failure code of its outage. */
+export interface PlatformService {
   readonly name: string;
   readonly code: FailureCode;
 }
 
 /**
- * Describes an answer that is no success. Reading changes nothing, so the verdict is `not-run`.
+ * Converts the response of a failed read to a failure. A read changes nothing, so the verdict is
+ * `not-run`.
  *
  * @param service - name and code of the service
- * @param exchange - the answer
- * @returns the failure, with the service's time of retry
+ * @param response - response without success status
+ * @returns the failure, with the retry delay that the service sent
  */
-export const toStatusFailure = (service: ServiceName, exchange: Exchange): Failure =>
+export const toStatusFailure = (service: PlatformService, response: Exchange): Failure =>
   createFailure(
     'not-run',
-    exchange.status === 429 ? 'overloaded' : service.code,
-    `${service.name} answered with status ${exchange.status.toString()}`,
-    exchange.retryAfterMs,
+    response.status === 429 ? 'overloaded' : service.code,
+    `${service.name} answered with status ${response.status.toString()}`,
+    response.retryAfterMs,
   );
 
 /**
- * Takes the body of a successful read.
+ * Resolves the body of a read.
  *
  * @param service - name and code of the service
- * @param result - the exchange or its error
- * @returns the body, or a failure with verdict `not-run`
+ * @param result - response or error of the request
+ * @returns the body, or a failure with the verdict `not-run`
  */
 export const resolveBody = (
-  service: ServiceName,
+  service: PlatformService,
   result: Result<Exchange, ExchangeError>,
 ): Result<Uint8Array, Failure> => {
   if (result.isErr()) {
@@ -47,15 +48,15 @@
 };
 
 /**
- * Decodes and checks a JSON body.
+ * Decodes and validates a JSON body.
  *
  * @param service - name and code of the service
- * @param body - the bytes
- * @param schema - form of the value
- * @returns the value, or a failure that names the bad field or the offset
+ * @param body - encoded JSON
+ * @param schema - schema of the value
+ * @returns the value, or a failure that names the invalid field or the offset of the syntax error
  */
 export const decodeJson = <Value>(
-  service: ServiceName,
+  service: PlatformService,
   body: Uint8Array,
   schema: z.ZodType<Value>,
 ): Result<Value, Failure> => {
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -19,8 +19,8 @@
   | 'damaged'
   | 'cut';
 
-/** A small log, list and weight store that answers by the name of the stream or model. */
-const startFake = async (t: ExecutionContext) => {
+/** Starts a fake log, list and weight store; the stream or model name selects the response. */
+const startFakePlatform = async (t: ExecutionContext) => {
   const server = fastify({ forceCloseConnections: true });
   const records: unknown[] = [];
   server.post('/streams/:script/records', (incoming, reply) => {
@@ -77,9 +77,10 @@
   return { options: { baseUrl, timeoutMs: 300 }, records, server };
 };
 
-// Guards against a retry of an append that took effect, and against a refusal that claims too much.
-test('an append is appended, rejected or unknown as the log shows', async (t) => {
-  const { options, records } = await startFake(t);
+// Guards against a retry of an append that took effect: only an append that the log refused is
+// rejected, any other without confirmation is unknown.
+test('an append is reported as appended, rejected or unknown by the response', async (t) => {
+  const { options, records } = await startFakePlatform(t);
   const client = createLogClient(options);
   t.teardown(client.close);
   t.deepEqual(await client.append('append', [{ a: 1 }]), { kind: 'appended', offset: 0 });
@@ -92,9 +93,9 @@
   t.deepEqual(records, [{ a: 1 }, 'lose-answer', 'hang', 'no-json']);
 });
 
-// Guards against an outage that is taken for an unresolved append.
-test('an append to a closed port is rejected, one on a cut connection is unknown', async (t) => {
-  const { options, server } = await startFake(t);
+// Guards against an outage that is treated as an append with an unknown result.
+test('an append to a closed port is rejected, and on a closed connection it is unknown', async (t) => {
+  const { options, server } = await startFakePlatform(t);
   await server.close();
   const refused = createLogClient(options);
   t.teardown(refused.close);
@@ -112,9 +113,9 @@
   t.is((await cut.append('append', [1])).kind, 'unknown');
 });
 
-// Guards against a bad page that is folded, and against an outage that throws.
-test('a read returns checked records or a failure', async (t) => {
-  const { options } = await startFake(t);
+// Guards against an invalid page that is folded, and against an outage that throws an error.
+test('a read returns validated records or a failure', async (t) => {
+  const { options } = await startFakePlatform(t);
   const client = createLogClient(options);
   t.teardown(client.close);
   await client.append('append', ['x', 'y']);
@@ -133,10 +134,10 @@
   t.true(ended.isErr());
 });
 
-// Guards against a record without a body, or with damaged JSON in it, that makes the records around it
-// unreadable, and against a cut page that is taken for a short one.
-test('a damaged record keeps its place in its page, and a cut page is no answer', async (t) => {
-  const { options } = await startFake(t);
+// Guards against a record without a body or with malformed JSON in it that makes the other records
+// of the page unreadable, and against a truncated page that is read as a short one.
+test('a damaged record keeps its place in the page, and a truncated page is a failure', async (t) => {
+  const { options } = await startFakePlatform(t);
   const client = createLogClient(options);
   t.teardown(client.close);
   const page = (await client.read('damaged', { from: 0 })).unwrap();
@@ -153,9 +154,9 @@
   t.regex(failure.message, /^the log: malformed JSON at offset 24/);
 });
 
-// Guards against a list that is not checked and a rate limit whose time of retry is lost.
-test('the list and the weight store answer or fail with their reason', async (t) => {
-  const { options } = await startFake(t);
+// Guards against an instance list that is not validated and a rate limit whose retry delay is lost.
+test('the list and the weights are fetched, or fail with the reason', async (t) => {
+  const { options } = await startFakePlatform(t);
   const list = createListClient(options);
   const weights = createWeightClient(options);
   t.teardown(list.close);
@@ -168,8 +169,8 @@
   });
 });
 
-// Guards against a retry time that is read as a number of milliseconds or not at all.
-test('retry-after is read as seconds or as a date', (t) => {
+// Guards against a retry delay that is parsed as milliseconds or ignored.
+test('retry-after is parsed as seconds or as a date', (t) => {
   t.is(parseRetryAfter('1.5', 0), 1_500);
   t.is(parseRetryAfter('Thu, 01 Jan 1970 00:00:09 GMT', 4_000), 5_000);
   t.is(parseRetryAfter('soon', 0), undefined);
--- a/packages/platform/client/exchange.ts
+++ b/packages/platform/client/exchange.ts
@@ -2,45 +2,48 @@
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { MAX_ANSWER_BYTES } from './constants.js';
+import { MAX_RESPONSE_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** How far a request got that has no answer. */
+/** Error of a request without a response. */
 export type ExchangeError =
-  /** No connection was made, so the request was not sent. */
+  /** No connection was established, so the request was not sent. */
   | { readonly kind: 'not-sent'; readonly message: string }
-  /** The request may have taken effect. */
+  /** A connection was established, so the request may have taken effect. */
   | { readonly kind: 'lost'; readonly message: string };
 
+/** Response with its whole body. */
 export interface Exchange {
   readonly status: number;
   readonly retryAfterMs: Millis | undefined;
   readonly body: Uint8Array;
 }
 
+/** Request to a service of the platform, with at most one of `json` and `bytes` as its body. */
 export interface ExchangeRequest {
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly json?: unknown;
-  /** Body that is sent as it is. */
+  /** Body that is sent unchanged. */
   readonly bytes?: Uint8Array;
-  /** Time that the service may hold its answer back, in addition to the timeout. */
+  /** Time for which the service may delay its response, in addition to the timeout. */
   readonly waitMs?: Millis;
   readonly signal?: AbortSignal | undefined;
 }
 
+/** HTTP client of one service of the platform. */
 export interface Exchanger {
   readonly send: (outgoing: ExchangeRequest) => Promise<Result<Exchange, ExchangeError>>;
   readonly close: () => Promise<void>;
 }
 
 /**
- * Reads a `retry-after` header.
+ * Parses a `retry-after` header.
  *
- * @param header - seconds, or an HTTP date
- * @param now - current instant
- * @returns milliseconds from now, or undefined without a readable value
+ * @param header - seconds or an HTTP date
+ * @param now - current time
+ * @returns the delay from now in milliseconds, or undefined without a valid value
  */
 export const parseRetryAfter = (header: string | undefined, now: Millis): Millis | undefined => {
   if (header === undefined || header.trim() === '') return undefined;
@@ -50,81 +53,81 @@
   return Number.isNaN(at) ? undefined : Math.max(0, at - now);
 };
 
-const readExchange = async (answer: IncomingMessage): Promise<Exchange> => {
+const readResponse = async (response: IncomingMessage): Promise<Exchange> => {
   const chunks: Uint8Array[] = [];
   let size = 0;
-  for await (const chunk of answer as AsyncIterable<Uint8Array>) {
+  for await (const chunk of response as AsyncIterable<Uint8Array>) {
     size += chunk.length;
-    if (size > MAX_ANSWER_BYTES) throw new Error('the answer is too large');
+    if (size > MAX_RESPONSE_BYTES) throw new Error('the response is too large');
     chunks.push(chunk);
   }
   return {
-    status: answer.statusCode ?? 0,
-    retryAfterMs: parseRetryAfter(answer.headers['retry-after'], Date.now()),
+    status: response.statusCode ?? 0,
+    retryAfterMs: parseRetryAfter(response.headers['retry-after'], Date.now()),
     body: Buffer.concat(chunks),
   };
 };
 
-interface Body {
+interface EncodedBody {
   readonly type: string;
   readonly bytes: Uint8Array;
 }
 
-const encodeBody = ({ bytes, json }: ExchangeRequest): Body | null => {
+const encodeBody = ({ bytes, json }: ExchangeRequest): EncodedBody | null => {
   if (bytes !== undefined) return { type: 'application/octet-stream', bytes };
   if (json === undefined) return null;
   return { type: 'application/json', bytes: Buffer.from(JSON.stringify(json)) };
 };
 
-const buildHeaders = (body: Body | null): Record<string, string> =>
+const buildHeaders = (body: EncodedBody | null): Record<string, string> =>
   body === null
     ? {}
     : { 'content-type': body.type, 'content-length': body.bytes.length.toString() };
 
 /**
- * Creates the connections to one service of the platform. A connection on which an answer is
- * overdue is closed, since it may have fallen silent for good.
+ * Creates an HTTP client of one service of the platform. A connection whose response times out is
+ * closed, since it may be dead.
  *
- * @param options - root address and timeout
- * @returns a sender that never throws for a failure of the service or the network
+ * @param options - base URL and timeout
+ * @returns the client, which never throws for a failure of the service or the network
  */
 export const createExchanger = (options: ClientOptions): Exchanger => {
   const agent = new Agent({ keepAlive: true });
-  const root = new URL(options.baseUrl);
+  const baseUrl = new URL(options.baseUrl);
 
-  const exchange = (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> =>
+  const sendRequest = (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> =>
     new Promise((resolve) => {
       const { method, path, signal, waitMs = 0 } = outgoing;
       const body = encodeBody(outgoing);
-      let reached: 'nothing' | 'connection' = 'nothing';
+      let connection: 'none' | 'established' = 'none';
       const client = openRequest({
         agent,
-        host: root.hostname,
-        port: root.port,
+        host: baseUrl.hostname,
+        port: baseUrl.port,
         method,
         path,
         headers: buildHeaders(body),
         ...(signal === undefined ? {} : { signal }),
       });
-      const overdue = setTimeout(() => {
-        client.destroy(new Error('the answer is overdue'));
+      const timeout = setTimeout(() => {
+        client.destroy(new Error('the response timed out'));
       }, options.timeoutMs + waitMs);
       const fail = (error: unknown): void => {
-        clearTimeout(overdue);
+        clearTimeout(timeout);
         const message = error instanceof Error ? error.message : String(error);
-        resolve(Err({ kind: reached === 'nothing' ? 'not-sent' : 'lost', message }));
+        resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
       };
       client.on('socket', (socket) => {
-        if (!socket.connecting) reached = 'connection';
+        if (!socket.connecting) connection = 'established';
         else
           socket.once('connect', () => {
-            reached = 'connection';
+            connection = 'established';
           });
       });
       client.on('error', fail);
-      client.on('response', (answer) => {
-        readExchange(answer).then((read) => {
-          clearTimeout(overdue);
+      client.on('response', (response) => {
+        readResponse(response).then((read) => {
+          clearTimeout(timeout);
           resolve(Ok(read));
         }, fail);
       });
@@ -132,7 +135,7 @@
     });
 
   return {
-    send: exchange,
+    send: sendRequest,
     close: () => {
       agent.destroy();
       return Promise.resolve();
--- a/packages/platform/client/listClient.ts
+++ b/packages/platform/client/listClient.ts
@@ -5,18 +5,18 @@
 
 const SERVICE = { name: 'the instance list', code: 'no-endpoint' } as const;
 
-const text = z.string().min(1);
+const nonEmptyString = z.string().min(1);
 
 const instanceSchema: z.ZodType<Instance> = z.object({
-  id: text,
+  id: nonEmptyString,
   role: z.enum(['entry', 'endpoint']),
-  dataCentre: text,
+  dataCentre: nonEmptyString,
   state: z.enum(['live', 'leaving']),
-  rpcUrl: text,
-  httpUrl: text,
-  model: text.optional(),
-  version: text.optional(),
-  service: text.optional(),
+  rpcUrl: nonEmptyString,
+  httpUrl: nonEmptyString,
+  model: nonEmptyString.optional(),
+  version: nonEmptyString.optional(),
+  service: nonEmptyString.optional(),
 });
 
 const listSchema = z.object({ instances: z.array(instanceSchema) });
@@ -24,7 +24,7 @@
 /**
  * Creates a client of the platform's instance list.
  *
- * @param options - root address and timeout
+ * @param options - base URL and timeout
  * @returns the client
  */
 export const createListClient = (options: ClientOptions): ListClient => {
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -14,7 +14,7 @@
 
 const appendSchema = z.object({ firstOffset: offset });
 
-/** A record without a body takes up its offset like any other; its reader refuses the null. */
+/** A record without a body keeps its offset and has a null body, which its reader rejects. */
 const body = z
   .unknown()
   .optional()
@@ -26,12 +26,12 @@
   firstOffset: offset,
 });
 
-const toAnsweredAppend = ({ status, body, retryAfterMs }: Exchange): AppendResult => {
+const decodeAppendResponse = ({ status, body, retryAfterMs }: Exchange): AppendResult => {
   const message = `the log answered with status ${status.toString()}`;
   if (status >= 400 && status < 500) {
     return { kind: 'rejected', message, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
   }
-  // An error of the server can follow an append that took effect.
+  // A server error can follow an append that took effect.
   if (status !== 200 && status !== 201) return { kind: 'unknown', message };
   const parsed = decodeJson(SERVICE, body, appendSchema);
   return parsed.isOk()
@@ -40,7 +40,7 @@
 };
 
 const toAppendResult = (result: Result<Exchange, ExchangeError>): AppendResult => {
-  if (result.isOk()) return toAnsweredAppend(result.value);
+  if (result.isOk()) return decodeAppendResponse(result.value);
   const { kind, message } = result.error;
   switch (kind) {
     case 'not-sent':
@@ -60,9 +60,9 @@
   }).toString();
 
 /**
- * Creates a client of the platform's log. An append is sent once and never repeated by the client.
+ * Creates a client of the platform's log. The client sends an append once and never retries it.
  *
- * @param options - root address and timeout
+ * @param options - base URL and timeout
  * @returns the client
  */
 export const createLogClient = (options: ClientOptions): LogClient => {
--- a/packages/platform/client/types.ts
+++ b/packages/platform/client/types.ts
@@ -5,13 +5,13 @@
 import type { AppendResult } from '../../decisions/idempotency/types.js';
 
 export interface ClientOptions {
-  /** Root of the service, such as `http://127.0.0.1:4100`. */
+  /** Base URL of the service, such as `http://127.0.0.1:4100`. */
   readonly baseUrl: string;
-  /** Longest time for one exchange; a long poll may take its wait in addition. */
+  /** Timeout of one request; a long poll adds its own wait. */
   readonly timeoutMs: Millis;
 }
 
-/** One record of a stream as the log returns it; the body is not checked yet. */
+/** One record of a stream as the log returns it; its body has not been validated. */
 export interface LogRecord {
   readonly offset: Offset;
   /** Time of the append by the log's clock. */
@@ -19,31 +19,33 @@
   readonly body: unknown;
 }
 
+/** Records that one read of a stream returned. */
 export interface LogPage {
   readonly records: readonly LogRecord[];
+  /** Offset from which the next read continues. */
   readonly nextOffset: Offset;
-  /** Oldest offset that the log still holds. */
+  /** Oldest offset that the log retains. */
   readonly firstOffset: Offset;
 }
 
 export interface ReadOptions {
   readonly from: Offset;
   readonly limit?: number;
-  /** How long the log may hold the answer back while there is nothing to read. */
+  /** Time for which the log may delay the response while it has no records (long poll). */
   readonly waitMs?: Millis;
-  /** Ends a long poll early. */
+  /** Aborts a long poll. */
   readonly signal?: AbortSignal;
 }
 
 export interface LogClient {
   /**
    * Appends records in one request. `rejected` means that nothing was appended; `unknown` means
-   * that the records may be appended already, or later.
+   * that the records may have been appended, or may still be.
    */
   readonly append: (stream: string, records: readonly unknown[]) => Promise<AppendResult>;
-  /** Reads records from an offset on; fails with `log-unavailable`. */
+  /** Reads records from an offset onwards; fails with `log-unavailable`. */
   readonly read: (stream: string, options: ReadOptions) => Promise<Result<LogPage, Failure>>;
-  /** Closes idle connections after the running requests. */
+  /** Closes all connections, including those with a request in flight. */
   readonly close: () => Promise<void>;
 }
 
@@ -61,13 +63,13 @@
 }
 
 export interface ListClient {
-  /** Fetches the whole list; it lags behind the platform. */
+  /** Fetches the whole list, which lags behind the platform; fails with `no-endpoint`. */
   readonly fetchInstances: () => Promise<Result<readonly Instance[], Failure>>;
   readonly close: () => Promise<void>;
 }
 
 export interface WeightClient {
-  /** Fetches weights; `overloaded` with a time of retry when the store limits the rate. */
+  /** Fetches weights; fails with `overloaded` and a retry delay when the store limits the rate. */
   readonly fetchWeights: (model: string, version: string) => Promise<Result<Uint8Array, Failure>>;
   readonly close: () => Promise<void>;
 }
--- a/packages/platform/client/weightClient.ts
+++ b/packages/platform/client/weightClient.ts
@@ -7,7 +7,7 @@
 /**
  * Creates a client of the platform's weight store.
  *
- * @param options - root address and timeout
+ * @param options - base URL and timeout
  * @returns the client
  */
 export const createWeightClient = (options: ClientOptions): WeightClient => {
