Tighten comments and names of quarantine, membership and platform

CRASHES_TO_QUARANTINE is LOSSES_TO_QUARANTINE, since silent endpoints count too. The @param of a formatter names its parameter, one comment no longer abbreviates, and the parsed base URL has a name of its own.

--- a/packages/decisions/membership/constants.ts
+++ b/packages/decisions/membership/constants.ts
@@ -1,10 +1,7 @@
 /** Interval between two heartbeats of an endpoint daemon. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
-/**
- * Silence after which an endpoint is suspect and receives no new work: three lost or late
- * heartbeats.
- */
+/** Silence after which an endpoint receives no new work: three lost or late heartbeats. */
 export const SUSPECT_AFTER_MS = 1_500;
 
 /** Silence after which an endpoint is gone and its work in flight counts as lost. */
--- a/packages/decisions/membership/lease.ts
+++ b/packages/decisions/membership/lease.ts
@@ -1,4 +1,4 @@
-import { LEASE_MS, PAUSE_THRESHOLD_MS, MAX_SENT_HEARTBEATS, MAX_SETTLING_MS } from './constants.js';
+import { LEASE_MS, MAX_SENT_HEARTBEATS, MAX_SETTLING_MS, PAUSE_THRESHOLD_MS } from './constants.js';
 import type { LeaseEffect, LeaseEvent, LeaseState, LeaseStatus } from './leaseTypes.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
--- a/packages/decisions/membership/membershipSimulation.fixture.ts
+++ b/packages/decisions/membership/membershipSimulation.fixture.ts
@@ -189,8 +189,7 @@
     if (isPaused(entry)) return;
     if (now - entry.lastRunAt > 1_000) stepEntry(entry, { kind: 'own-pause', now });
     entry.lastRunAt = now;
-    // Sends work before the inbox is read, the worst order for a process that resumes after a
-    // pause.
+    // Sends work before the inbox is read, which is the worst order after a pause.
     for (const endpoint of endpoints) sendWork(entry, endpoint);
     runInbox(entry);
     stepEntry(entry, { kind: 'tick', now });
--- a/packages/decisions/membership/types.ts
+++ b/packages/decisions/membership/types.ts
@@ -14,9 +14,7 @@
 export type Eligibility =
   'eligible' | 'unknown' | 'starting' | 'draining' | 'suspect' | 'gone' | 'data-centre-out';
 
-/**
- * Heartbeat of an endpoint daemon. `report` holds load and evidence that membership doesn't read.
- */
+/** Heartbeat of an endpoint daemon; membership ignores the load and evidence in `report`. */
 export interface Heartbeat<Report> {
   readonly endpoint: EndpointId;
   readonly dataCentre: DataCentreId;
@@ -54,9 +52,7 @@
   readonly endpoints: Map<EndpointId, EndpointEntry<Report>>;
   readonly dataCentresOut: ReadonlySet<DataCentreId>;
   readonly configurationOffset: Offset;
-  /**
-   * Heartbeats that arrive before this instant may have been sent before a pause of this process.
-   */
+  /** Heartbeats that arrive before this instant may predate a pause of this process. */
   readonly backlogUntil: Millis;
 }
 
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -1,5 +1,5 @@
 /** Lost endpoint incarnations after which a fingerprint that was in flight is quarantined. */
-export const CRASHES_TO_QUARANTINE = 2;
+export const LOSSES_TO_QUARANTINE = 2;
 
 /** Duration of a quarantine. Afterwards the request may run again, on a repaired engine. */
 export const QUARANTINE_DURATION_MS = 3_600_000;
--- a/packages/decisions/quarantine/inFlight.ts
+++ b/packages/decisions/quarantine/inFlight.ts
@@ -4,7 +4,7 @@
 /**
  * Formats the identity of an endpoint incarnation.
  *
- * @param start - endpoint and incarnation
+ * @param endpointIncarnation - endpoint and incarnation
  * @returns `endpoint@incarnation`, a key for tables
  */
 export const formatEndpointIncarnation = ({ endpoint, incarnation }: EndpointIncarnation): string =>
--- a/packages/decisions/quarantine/suspicion.test.ts
+++ b/packages/decisions/quarantine/suspicion.test.ts
@@ -146,7 +146,8 @@
       if (count === 2) secondCrashes += 1;
     }
     for (const fingerprint of quarantined) {
-      if ((losses[fingerprint] ?? 0) < 2) throw new Error(`${fingerprint} was lost only once`);
+      if ((losses[fingerprint] ?? 0) < 2)
+        throw new Error(`${fingerprint} was in flight at fewer than two losses`);
     }
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
@@ -198,9 +199,9 @@
     kind: 'refuse',
     failure: { code: 'quarantined', verdict: 'not-run' },
   });
-  const again = decideSuspicion(crashed.state, { kind: 'tick', now: 5_100 });
-  t.deepEqual(again.effects, crashed.effects);
-  const logged = decideSuspicion(again.state, {
+  const retried = decideSuspicion(crashed.state, { kind: 'tick', now: 5_100 });
+  t.deepEqual(retried.effects, crashed.effects);
+  const logged = decideSuspicion(retried.state, {
     kind: 'quarantine-record',
     fingerprint: 'f',
     expiresAt,
@@ -227,9 +228,9 @@
     ...heldEvents,
   );
   t.is(full.state.held.length, MAX_HELD_REQUESTS);
-  const over = decideSuspicion(full.state, buildHeld('last'));
-  t.like(over.effects[0], { kind: 'refuse-held', failure: { verdict: 'not-run' } });
+  const overflowed = decideSuspicion(full.state, buildHeld('last'));
+  t.like(overflowed.effects[0], { kind: 'refuse-held', failure: { verdict: 'not-run' } });
   const completion = { kind: 'attempt-ended', requestId: 'r', outcome: 'well' } as const;
-  const cleared = decideSuspicion(over.state, completion);
+  const cleared = decideSuspicion(overflowed.state, completion);
   t.is(cleared.effects.filter((effect) => effect.kind === 'place-held').length, MAX_HELD_REQUESTS);
 });
--- a/packages/decisions/quarantine/suspicion.ts
+++ b/packages/decisions/quarantine/suspicion.ts
@@ -1,15 +1,15 @@
 import {
   APPEND_RETRY_MS,
-  MIN_CORRELATED_LOSSES,
   CORRELATED_WINDOW_MS,
-  CRASHES_TO_QUARANTINE,
+  LOSSES_TO_QUARANTINE,
+  MAX_COMPLETED,
+  MAX_ENDPOINTS_BEFORE_COMPLETION,
   MAX_HELD_REQUESTS,
   MAX_QUARANTINED,
   MAX_SUSPECTS,
-  MAX_COMPLETED,
+  MIN_CORRELATED_LOSSES,
   QUARANTINE_DURATION_MS,
   SUSPECT_TTL_MS,
-  MAX_ENDPOINTS_BEFORE_COMPLETION,
 } from './constants.js';
 import {
   addAttempt,
@@ -206,7 +206,7 @@
   const isKnownLoss = known?.losses.some((loss) => loss.id === id) === true;
   if (isKnownLoss || isQuarantined(state, fingerprint, now)) return toStep(state);
   const losses = [...(known?.losses ?? []), { id, cause }];
-  if (losses.length >= CRASHES_TO_QUARANTINE) {
+  if (losses.length >= LOSSES_TO_QUARANTINE) {
     const expiresAt = now + QUARANTINE_DURATION_MS;
     const step = addQuarantine(state, fingerprint, expiresAt, 'pending', now);
     const append = { kind: 'append-quarantine', fingerprint, expiresAt } as const;
--- a/packages/platform/client/exchange.ts
+++ b/packages/platform/client/exchange.ts
@@ -93,7 +93,7 @@
  */
 export const createExchanger = (options: ClientOptions): Exchanger => {
   const agent = new Agent({ keepAlive: true });
-  const baseUrl = new URL(options.baseUrl);
+  const serviceUrl = new URL(options.baseUrl);
 
   const sendRequest = (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> =>
     new Promise((resolve) => {
@@ -102,8 +102,8 @@
       let connection: 'none' | 'established' = 'none';
       const client = openRequest({
         agent,
-        host: baseUrl.hostname,
-        port: baseUrl.port,
+        host: serviceUrl.hostname,
+        port: serviceUrl.port,
         method,
         path,
         headers: buildHeaders(body),
