--- a/packages/decisions/fuzz/runSuites.test.ts
+++ b/packages/decisions/fuzz/runSuites.test.ts
@@ -25,8 +25,7 @@
   },
 });
 
-// Guards against a violation that is not reported, or that the report does not suffice to
-// reproduce.
+// Guards against a violation that is not reported, or cannot be reproduced from the report.
 test('a violation is reported with the seed and path that reproduce it', (t) => {
   const clock = { now: 0 };
   const checks: CheckParameters[] = [];
--- a/packages/decisions/fuzz/runSuites.ts
+++ b/packages/decisions/fuzz/runSuites.ts
@@ -13,9 +13,7 @@
 
 type ViolatedResult = Extract<CheckResult, { readonly kind: 'violated' }>;
 
-/**
- * Continues the search for a smaller counterexample, which the time limit of the slice interrupts.
- */
+/** Continues the search for a smaller counterexample that the slice's time limit interrupted. */
 const findSmallerCounterexample = (suite: FuzzSuite, found: ViolatedResult): ViolatedResult => {
   const { seed, path } = found;
   const parameters = {
--- a/packages/decisions/fuzz/types.ts
+++ b/packages/decisions/fuzz/types.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Parameters of one fast-check run; with the same seed and path it is reproducible. */
+/** Parameters of one fast-check check; the seed makes it reproducible. */
 export interface CheckParameters {
   readonly seed: number;
   readonly numRuns: number;
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -52,7 +52,7 @@
   verdict: Verdict;
   /** Number of executions at any endpoint, over all attempts. */
   executions: number;
-  /** Verdict that the caller received, or null while none is due. */
+  /** Verdict of the failure that the caller received, or null without a failure. */
   reportedVerdict: Verdict | null;
 }
 
@@ -266,8 +266,7 @@
 });
 
 /**
- * Builds the property of P6 for calls and resumes: a request that is reported as not run did not
- * run.
+ * Builds the property of P6 for calls and resumes: no request is reported as not run and ran.
  *
  * @param mechanisms - decisions under test
  * @returns a fast-check property that throws with the violations
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -94,7 +94,7 @@
 });
 
 // Guards against an outage that is treated as an append with an unknown result.
-test('an append to a closed port is rejected, and on a closed connection it is unknown', async (t) => {
+test('an append to a closed port is rejected, one on a closed connection is unknown', async (t) => {
   const { options, server } = await startFakePlatform(t);
   await server.close();
   const refused = createLogClient(options);
@@ -136,7 +136,7 @@
 
 // Guards against a record without a body or with malformed JSON in it that makes the other records
 // of the page unreadable, and against a truncated page that is read as a short one.
-test('a damaged record keeps its place in the page, and a truncated page is a failure', async (t) => {
+test('a damaged record keeps its place in the page, a truncated page is a failure', async (t) => {
   const { options } = await startFakePlatform(t);
   const client = createLogClient(options);
   t.teardown(client.close);
