--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -15,7 +15,7 @@
   readonly incarnation: Incarnation;
 }
 
-/** `crash`: the engine exited on its own. `lost`: the endpoint became unreachable, for any reason. */
+/** `crash`: the engine exited on its own. `lost`: the endpoint became silent for any reason. */
 export type LossCause = 'crash' | 'lost';
 
 /** A fingerprint that was in flight when endpoints were lost. */
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -266,7 +266,7 @@
 });
 
 /**
- * Builds the property of P6 for calls and resumes: no request is reported as not run and ran.
+ * Builds the property of P6 for calls and resumes: no request that ran is reported as not run.
  *
  * @param mechanisms - decisions under test
  * @returns a fast-check property that throws with the violations
