Say capacity where a transfer's target refuses

The result `no-room` does not say that memory is what the target lacks, so the comments and titles of the transfer tests speak of capacity. Restores the order of two destructured properties.

--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -113,7 +113,7 @@
   },
 ];
 
-const isRetryable = ({ delivered, route }: Forwarding): boolean =>
+const isRetryable = ({ route, delivered }: Forwarding): boolean =>
   route.resume === 'resumable' || (route.repeat === 'idempotent' && delivered === 'nothing');
 
 const retryAfterPossibleRun = (
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -112,8 +112,8 @@
   t.is(first?.key, orders[1]?.key);
 });
 
-// Guards against a generation that is not transferred because the first target lacks memory.
-test('a target without enough memory is replaced by another', (t) => {
+// Guards against a generation that is not transferred because the first target lacks capacity.
+test('a target without enough capacity is replaced by another', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
   const [first] = findTransfers(postLeaving(harness));
@@ -123,7 +123,7 @@
 });
 
 // Guards against losing a generation when the target fills up after the source stopped it.
-test('a stopped generation resumes at its source when the target lacks memory', (t) => {
+test('a stopped generation resumes at its source when the target lacks capacity', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
   postLeaving(harness);
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -236,7 +236,7 @@
   context: RequestsContext,
 ): Effects => {
   const { attempt } = run;
-  const { target, tries } = transfer;
+  const { tries, target } = transfer;
   const released = [
     describeTransfer(run, reason, target),
     ...endTransfer(run),
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -65,7 +65,7 @@
   transfer: Transfer | null;
   /** Copy of the generation that a transfer made; null without one. */
   copy: TransferredCopy | null;
-  /** Endpoints that refused a transfer of the generation for lack of memory. */
+  /** Endpoints that refused a transfer of the generation for lack of capacity. */
   readonly refusedTargets: Set<EndpointId>;
   /** Whether the endpoint's stream can still deliver events. */
   streamState: 'open' | 'ended';
