--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -116,7 +116,7 @@
   t.truthy(findEffect(effects, 'cancel-attempt'));
 });
 
-// Guards against forwarding a success that does not come from the endpoint.
+// Guards against forwarding a success that the endpoint did not sign.
 test('a success without a signature is not forwarded', (t) => {
   const harness = createRequestsHarness();
   const order = getOrder(harness.sendRequest('/sweep/1'));
@@ -137,7 +137,7 @@
   t.is(harness.countOpen(), 0);
 });
 
-// Guards against hedging a call that would then run twice.
+// Guards against hedging a call that must run at most once.
 test('a non-idempotent call is not hedged', (t) => {
   const harness = createRequestsHarness();
   reportSent(harness, getOrder(harness.sendRequest('/sweep/1')));
@@ -286,7 +286,7 @@
   t.true((failure?.retryAfterMs ?? 0) > 0);
 });
 
-// Guards against a draining daemon that admits a generation which it ends too soon to finish.
+// Guards against a draining daemon that admits a generation and ends before it is complete.
 test('a draining daemon admits only requests that it can finish', (t) => {
   const harness = createRequestsHarness();
   harness.setDrain({ drainedMs: 1_000, leftMs: 6_500 });
