--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -12,7 +12,7 @@
   switch (event.kind) {
     case 'caller-arrived':
       return 'new-request';
-    case 'peer-heard':
+    case 'peer-report-received':
       return 'report';
     case 'answer-started':
     case 'answer-continued':
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -12,7 +12,8 @@
   readonly close: () => void;
 }
 
-const toName = (key: number, attempt: number): string => `${key.toString()}/${attempt.toString()}`;
+const toAttemptId = (key: number, attempt: number): string =>
+  `${key.toString()}/${attempt.toString()}`;
 
 const isParseError = (error: Error): boolean =>
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
@@ -33,16 +34,16 @@
 
   const open = (order: AttemptOrder): void => {
     const { address, attempt, key, request } = order;
-    const name = toName(key, attempt);
-    const to = { to: 'requests', key, attempt } as const;
+    const attemptId = toAttemptId(key, attempt);
+    const eventBase = { to: 'requests', key, attempt } as const;
     let phase: 'connecting' | 'sent' | 'ended' = 'connecting';
     let answer: IncomingMessage | null = null;
 
-    const end = (event: RequestsEvent): void => {
+    const finish = (event: RequestsEvent): void => {
       if (phase === 'ended') return;
       phase = 'ended';
       clearTimeout(connectTimer);
-      if (running.get(name) === outgoing) running.delete(name);
+      if (running.get(attemptId) === outgoing) running.delete(attemptId);
       post(event);
     };
 
@@ -51,7 +52,7 @@
       if (answer?.complete === true) return;
       const kind: AttemptFailure['kind'] =
         phase === 'connecting' ? 'unreachable' : isParseError(error) ? 'garbled' : 'broken';
-      end({ ...to, kind: 'attempt-failed', failure: { kind, message: error.message } });
+      finish({ ...eventBase, kind: 'attempt-failed', failure: { kind, message: error.message } });
     };
 
     const outgoing = openRequest({
@@ -63,7 +64,7 @@
       agent: false,
       setHost: false,
     });
-    running.set(name, outgoing);
+    running.set(attemptId, outgoing);
     const connectTimer = setTimeout(() => {
       outgoing.destroy(new Error('the connection was not made in time'));
     }, CONNECT_TIMEOUT_MS);
@@ -74,7 +75,7 @@
         clearTimeout(connectTimer);
         if (phase !== 'connecting') return;
         phase = 'sent';
-        post({ ...to, kind: 'attempt-sent' });
+        post({ ...eventBase, kind: 'attempt-sent' });
       });
     });
     outgoing.on('error', fail);
@@ -82,12 +83,12 @@
       answer = incoming;
       const head = codec.decodeAnswer(incoming.statusCode ?? 0, incoming.rawHeaders);
       if (phase === 'ended') return;
-      post({ ...to, kind: 'answer-started', head });
+      post({ ...eventBase, kind: 'answer-started', head });
       incoming.on('data', (bytes: Buffer) => {
-        if (phase !== 'ended') post({ ...to, kind: 'answer-continued', bytes });
+        if (phase !== 'ended') post({ ...eventBase, kind: 'answer-continued', bytes });
       });
       incoming.on('end', () => {
-        end({ ...to, kind: 'answer-ended' });
+        finish({ ...eventBase, kind: 'answer-ended' });
       });
       incoming.on('error', fail);
       incoming.on('close', () => {
@@ -103,9 +104,9 @@
   return {
     open,
     cancel: (key, attempt) => {
-      const name = toName(key, attempt);
-      const outgoing = running.get(name);
-      running.delete(name);
+      const attemptId = toAttemptId(key, attempt);
+      const outgoing = running.get(attemptId);
+      running.delete(attemptId);
       outgoing?.destroy();
     },
     close: () => {
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -6,7 +6,7 @@
   FeedResult,
   MoveOrder,
   RecordChange,
-  RemovalTrust,
+  RemovalCertainty,
   TransferOrder,
   TransferResult,
 } from './types.js';
@@ -47,7 +47,7 @@
       readonly kind: 'registrations-changed';
       readonly changes: readonly RecordChange[];
       readonly scope: 'all' | 'changed';
-      readonly removals: RemovalTrust;
+      readonly removals: RemovalCertainty;
     }
   | {
       readonly kind: 'data-centres-changed';
@@ -65,7 +65,7 @@
 );
 
 export type PeersEvent = { readonly to: 'peers' } & (
-  | { readonly kind: 'peer-heard'; readonly host: string; readonly message: PeerMessage }
+  | { readonly kind: 'peer-report-received'; readonly host: string; readonly message: PeerMessage }
   | { readonly kind: 'report-due' }
   /** Something changed that the other daemons wait for. */
   | { readonly kind: 'report-changed' }
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -24,19 +24,19 @@
 export const MIN_REGISTRATIONS_PAUSE_MS = 350;
 
 /** Part of the time to learn that an endpoint leaves which a pause may take. */
-export const PAUSE_SHARE = 0.3;
+export const MAX_PAUSE_SHARE = 0.3;
 
 /**
  * Time for an overdue answer and the next read, on top of a wait on a silent connection: all of it has
  * to fit into the time after a disturbance within which bounds do not hold.
  */
-export const SILENT_READ_MS = 1_500;
+export const SILENT_READ_MARGIN_MS = 1_500;
 
 /** Pause after a failed read. */
 export const FEED_RETRY_MS = 250;
 
 /** Time after the store's return within which lapsed registrations are back. */
-export const RETURN_GRACE_MS = 2_500;
+export const REREGISTRATION_GRACE_MS = 2_500;
 
 /**
  * Silence of the registrations, beyond the pause between reads, after which the store may be away:
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,21 +1,21 @@
 import test from 'ava';
-import { FEED_SILENCE_MS, RETURN_GRACE_MS } from './constants.js';
+import { FEED_SILENCE_MS, REREGISTRATION_GRACE_MS } from './constants.js';
 import { createFeedsLogic, isFeedStale } from './feeds.js';
-import type { FeedPace } from './feeds.js';
+import type { PacingInputs } from './feeds.js';
 import type { FeedsState } from './feeds.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect } from '../events.js';
 import type { FeedName, FeedResult, RecordChange } from '../types.js';
 
-const buildPace = (daemons: number): FeedPace => ({
+const buildPace = (daemons: number): PacingInputs => ({
   daemons,
-  learnWithin: { leavingMs: 2_000, outageMs: 3_000 },
+  stalenessLimits: { leavingMs: 2_000, outageMs: 3_000 },
 });
 
 const createHarness = (daemons = 4) => {
   const clock = createVirtualClock(1_000);
-  const logic = createFeedsLogic({ clock, getPace: () => buildPace(daemons) });
+  const logic = createFeedsLogic({ clock, getPacingInputs: () => buildPace(daemons) });
   const first = logic.init();
   let state: FeedsState = first.state;
   const answer = (feed: FeedName, result: FeedResult): readonly GatewayEffect[] => {
@@ -72,9 +72,9 @@
   t.false(harness.answer('registrations', FAILED).some(({ kind }) => kind === 'log'));
   harness.clock.advance(5_000);
   const back = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 5 });
-  t.deepEqual(findRegistrations(back)[0]?.removals, { kind: 'doubtful', since: 6_000 });
+  t.deepEqual(findRegistrations(back)[0]?.removals, { kind: 'uncertain', since: 6_000 });
   t.true(back.some((effect) => effect.kind === 'log' && effect.name === 'log-available'));
-  harness.clock.advance(RETURN_GRACE_MS);
+  harness.clock.advance(REREGISTRATION_GRACE_MS);
   const later = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 6 });
   t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
 });
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -4,11 +4,11 @@
   MIN_FEED_WAIT_MS,
   MIN_REGISTRATIONS_PAUSE_MS,
   OPERATOR_PAUSE_MS,
-  PAUSE_SHARE,
+  MAX_PAUSE_SHARE,
   READ_SPACING_MS,
   REGISTRATIONS_WAIT_MS,
-  RETURN_GRACE_MS,
-  SILENT_READ_MS,
+  REREGISTRATION_GRACE_MS,
+  SILENT_READ_MARGIN_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -16,7 +16,13 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
-import type { FeedName, FeedResult, LearnWithin, RecordChange, RemovalTrust } from '../types.js';
+import type {
+  FeedName,
+  FeedResult,
+  StalenessLimits,
+  RecordChange,
+  RemovalCertainty,
+} from '../types.js';
 
 /** Where this daemon is in one stream of records. */
 export type FeedState =
@@ -27,7 +33,7 @@
       readonly failingSince: Millis | null;
       readonly readAt: Millis;
       /** Removals until then may only mean that the store was away. */
-      readonly doubtUntil: Millis;
+      readonly uncertainUntil: Millis;
     };
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
@@ -36,34 +42,34 @@
 
 export interface FeedsInputs {
   readonly clock: Clock;
-  readonly getPace: () => FeedPace;
+  readonly getPacingInputs: () => PacingInputs;
 }
 
 /** What the pace of the reads follows from. */
-export interface FeedPace {
+export interface PacingInputs {
   /** Daemons that read the same records, this one included. */
   readonly daemons: number;
-  readonly learnWithin: LearnWithin;
+  readonly stalenessLimits: StalenessLimits;
 }
 
 interface ReadContext {
   readonly now: Millis;
-  readonly pace: FeedPace;
+  readonly pacing: PacingInputs;
 }
 
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
-const limitTo = (value: Millis, least: Millis, most: Millis): Millis =>
-  Math.max(least, Math.min(value, most));
+const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
+  Math.max(min, Math.min(value, max));
 
 /** How long the store may hold a read back; a connection that fell silent shows only after that. */
-const computeWait = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+const computeWait = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
-      return limitTo(
+      return limitToRange(
         READ_SPACING_MS.operator * daemons,
         MIN_FEED_WAIT_MS,
-        learnWithin.outageMs - SILENT_READ_MS,
+        stalenessLimits.outageMs - SILENT_READ_MARGIN_MS,
       );
     case 'registrations':
       return REGISTRATIONS_WAIT_MS;
@@ -73,25 +79,25 @@
 };
 
 /** Pause after a read that brought records. */
-const computePause = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+const computePause = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
       return OPERATOR_PAUSE_MS;
     case 'registrations':
-      return limitTo(
+      return limitToRange(
         READ_SPACING_MS.registrations * daemons,
         MIN_REGISTRATIONS_PAUSE_MS,
-        learnWithin.leavingMs * PAUSE_SHARE,
+        stalenessLimits.leavingMs * MAX_PAUSE_SHARE,
       );
     default:
       return assertNever(feed);
   }
 };
 
-const readFeed = (feed: FeedName, state: FeedState, pace: FeedPace): GatewayEffect =>
+const readFeed = (feed: FeedName, state: FeedState, pacing: PacingInputs): GatewayEffect =>
   state.kind === 'loading'
     ? { kind: 'load-feed', feed }
-    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pace) };
+    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pacing) };
 
 /**
  * Tells whether a feed may hide what happened: its last read failed, or has been waiting although
@@ -99,13 +105,13 @@
  *
  * @param state - state of the feed of registrations
  * @param now - current instant
- * @param pace - what the pauses between reads follow from
+ * @param pacing - what the pauses between reads follow from
  * @returns whether the records may be behind
  */
-export const isFeedStale = (state: FeedState, now: Millis, pace: FeedPace): boolean =>
+export const isFeedStale = (state: FeedState, now: Millis, pacing: PacingInputs): boolean =>
   state.kind === 'loading' ||
   state.failingSince !== null ||
-  now - state.readAt > computePause('registrations', pace) + FEED_SILENCE_MS;
+  now - state.readAt > computePause('registrations', pacing) + FEED_SILENCE_MS;
 
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
@@ -151,7 +157,7 @@
   feed: FeedName,
   changes: readonly RecordChange[],
   scope: Scope,
-  removals: RemovalTrust,
+  removals: RemovalCertainty,
 ): GatewayEffect[] => {
   if (changes.length === 0 && scope === 'changed') return [];
   const unreadable = describeUnreadable(feed, changes);
@@ -171,7 +177,7 @@
   }
 };
 
-const describeReturn = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
+const describeRecovery = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
   state.failingSince === null
     ? []
     : [
@@ -183,38 +189,38 @@
       ];
 
 /** Returns until when removals are doubtful, after a read that succeeded. */
-const computeDoubt = (state: FeedState, now: Millis): Millis => {
-  if (state.failingSince !== null) return now + RETURN_GRACE_MS;
-  return state.kind === 'following' ? state.doubtUntil : 0;
+const computeUncertainUntil = (state: FeedState, now: Millis): Millis => {
+  if (state.failingSince !== null) return now + REREGISTRATION_GRACE_MS;
+  return state.kind === 'following' ? state.uncertainUntil : 0;
 };
 
 const handleSuccess = (
   feed: FeedName,
   state: FeedState,
   result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  { now, pace }: ReadContext,
+  { now, pacing }: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const doubtUntil = computeDoubt(state, now);
+  const uncertainUntil = computeUncertainUntil(state, now);
   const scope = result.kind === 'loaded' ? 'all' : 'changed';
-  const removals: RemovalTrust =
-    now < doubtUntil
-      ? { kind: 'doubtful', since: doubtUntil - RETURN_GRACE_MS }
+  const removals: RemovalCertainty =
+    now < uncertainUntil
+      ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
       : { kind: 'certain' };
   const next: FeedState = {
     kind: 'following',
     position: result.position,
     failingSince: null,
     readAt: now,
-    doubtUntil,
+    uncertainUntil,
   };
-  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pace);
+  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pacing);
   return {
     state: next,
     effects: [
-      ...describeReturn(feed, state, now),
+      ...describeRecovery(feed, state, now),
       ...publishChanges(feed, result.changes, scope, removals),
       pauseMs === 0
-        ? readFeed(feed, next, pace)
+        ? readFeed(feed, next, pacing)
         : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
     ],
   };
@@ -273,7 +279,7 @@
  */
 export const createFeedsLogic = ({
   clock,
-  getPace,
+  getPacingInputs,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
@@ -286,11 +292,14 @@
     const { feed } = event;
     switch (event.kind) {
       case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(state, readFeed(feed, state[feed], getPace()));
+        return toStep<FeedsState, GatewayEffect>(
+          state,
+          readFeed(feed, state[feed], getPacingInputs()),
+        );
       case 'feed-answered': {
         const step = handleResult(feed, state[feed], event.result, {
           now: clock.now(),
-          pace: getPace(),
+          pacing: getPacingInputs(),
         });
         return { state: { ...state, [feed]: step.state }, effects: step.effects };
       }
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -4,7 +4,7 @@
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
   MAX_HEADER_BYTES,
-  MAX_HELD_BODY_BYTES,
+  MAX_BUFFERED_BODY_BYTES,
 } from './constants.js';
 import type { Responders } from './responders.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -17,7 +17,7 @@
   readonly clock: Clock;
   readonly responders: Responders;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
-  readonly postGone: (key: number) => void;
+  readonly postDisconnect: (key: number) => void;
 }
 
 export interface CallerServer {
@@ -38,46 +38,46 @@
   | { readonly kind: 'broken' };
 
 /** Bytes of bodies that are held now, over all requests of the server. */
-interface BodyRoom {
-  held: number;
+interface BodyBuffers {
+  bufferedBytes: number;
   maxBodyBytes: number;
 }
 
-const readBody = (incoming: IncomingMessage, room: BodyRoom): Promise<BodyResult> =>
+const readBody = (incoming: IncomingMessage, buffers: BodyBuffers): Promise<BodyResult> =>
   new Promise((resolve) => {
     const chunks: Uint8Array[] = [];
     let size = 0;
-    const stop = (result: BodyResult): void => {
-      room.held -= size;
+    const settle = (result: BodyResult): void => {
+      buffers.bufferedBytes -= size;
       size = 0;
       incoming.removeAllListeners('data');
       resolve(result);
     };
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      room.held += chunk.length;
-      if (size > room.maxBodyBytes) stop({ kind: 'too-large' });
-      else if (room.held > MAX_HELD_BODY_BYTES) stop({ kind: 'no-room' });
+      buffers.bufferedBytes += chunk.length;
+      if (size > buffers.maxBodyBytes) settle({ kind: 'too-large' });
+      else if (buffers.bufferedBytes > MAX_BUFFERED_BODY_BYTES) settle({ kind: 'no-room' });
       else chunks.push(chunk);
     });
     incoming.on('end', () => {
-      stop({
+      settle({
         kind: 'whole',
         body: chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks),
       });
     });
     incoming.on('close', () => {
-      stop({ kind: 'broken' });
+      settle({ kind: 'broken' });
     });
     // The end of the connection is told by `close`; without a listener the error ends the process.
     incoming.on('error', () => undefined);
   });
 
-const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
-const TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
-const NO_ROOM = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
-const SHED = createFailure('not-run', 'overloaded', 'too many events wait', 200);
+const BODY_TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
+const BUFFERS_FULL = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
+const QUEUE_FULL = createFailure('not-run', 'overloaded', 'too many events wait', 200);
 
 /**
  * Creates the server for callers. It reads each request whole before it hands it on, since a body
@@ -88,7 +88,7 @@
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { codec, clock, responders } = options;
-  const room: BodyRoom = { held: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
+  const buffers: BodyBuffers = { bufferedBytes: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
   let nextKey = 1;
 
   const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -101,25 +101,25 @@
     const key = nextKey;
     nextKey += 1;
     responders.open(key, head.id, response);
-    const read = await readBody(incoming, room);
-    switch (read.kind) {
+    const result = await readBody(incoming, buffers);
+    switch (result.kind) {
       case 'broken':
-        responders.forget(key);
+        responders.remove(key);
         return;
       case 'too-large':
-        responders.refuse(key, TOO_LARGE);
+        responders.refuse(key, BODY_TOO_LARGE);
         return;
       case 'no-room':
-        responders.refuse(key, NO_ROOM);
+        responders.refuse(key, BUFFERS_FULL);
         return;
       case 'whole':
         break;
     }
     response.on('close', () => {
-      if (responders.has(key)) options.postGone(key);
+      if (responders.has(key)) options.postDisconnect(key);
     });
-    const request: ForwardRequest = { ...head, key, body: read.body, receivedAt };
-    if (options.postArrival(request) === 'shed') responders.refuse(key, SHED);
+    const request: ForwardRequest = { ...head, key, body: result.body, receivedAt };
+    if (options.postArrival(request) === 'shed') responders.refuse(key, QUEUE_FULL);
   };
 
   const server: Server = createServer(
@@ -132,7 +132,7 @@
     // A connection that broke is told by the end of its request; only bytes can be unreadable.
     const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
     if (isUnreadable) responders.reportUnreadable(error);
-    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST);
+    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
     else socket.destroy();
   });
 
@@ -148,7 +148,7 @@
     applyLimits: (idleTimeoutMs, headerTimeoutMs, maxBodyBytes) => {
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
-      room.maxBodyBytes = maxBodyBytes;
+      buffers.maxBodyBytes = maxBodyBytes;
     },
     closeIdle: () => {
       server.close();
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { DRAIN_MIN_MS, GRACE_MARGIN_MS } from './constants.js';
+import { MIN_DRAIN_MS, GRACE_MARGIN_MS } from './constants.js';
 import { createGateLogic } from './gate.js';
 import type { GateState } from './gate.js';
 import { createVirtualClock } from '../../core/clock.js';
@@ -25,7 +25,7 @@
 test('an idle daemon stays until the balancer has asked twice', (t) => {
   const harness = createHarness({ count: 0 });
   t.true(harness.post({ to: 'frontend', kind: 'drain-started' }).includes('log'));
-  harness.clock.advance(DRAIN_MIN_MS - 10);
+  harness.clock.advance(MIN_DRAIN_MS - 10);
   t.deepEqual(harness.post(CHECKED), ['schedule']);
   harness.clock.advance(20);
   t.deepEqual(harness.post(CHECKED), ['close-idle', 'schedule']);
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -1,4 +1,4 @@
-import { CLOSE_IDLE_MS, DRAIN_CHECK_MS, DRAIN_MIN_MS, GRACE_MARGIN_MS } from './constants.js';
+import { CLOSE_IDLE_GRACE_MS, DRAIN_CHECK_MS, MIN_DRAIN_MS, GRACE_MARGIN_MS } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -34,7 +34,7 @@
   return { drainedMs, leftMs: graceMs - GRACE_MARGIN_MS - drainedMs };
 };
 
-const CHECK: GatewayEffect = {
+const NEXT_DRAIN_CHECK: GatewayEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
   event: { to: 'frontend', kind: 'drain-checked' },
@@ -48,18 +48,18 @@
       return toStep<GateState, GatewayEffect>(state);
     case 'draining': {
       const drainedMs = now - state.drainedAt;
-      const isDone = left === 0 && drainedMs >= DRAIN_MIN_MS;
-      const isOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
-      if (!isDone && !isOver) return toStep<GateState, GatewayEffect>(state, CHECK);
+      const isIdle = left === 0 && drainedMs >= MIN_DRAIN_MS;
+      const isGraceOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
+      if (!isIdle && !isGraceOver) return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
-        CHECK,
+        NEXT_DRAIN_CHECK,
       );
     }
     case 'closing':
-      return now - state.closedAt < CLOSE_IDLE_MS
-        ? toStep<GateState, GatewayEffect>(state, CHECK)
+      return now - state.closedAt < CLOSE_IDLE_GRACE_MS
+        ? toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK)
         : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
     default:
       return assertNever(state);
@@ -90,7 +90,7 @@
         return toStep<GateState, GatewayEffect>(
           { phase: 'draining', drainedAt: inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
-          CHECK,
+          NEXT_DRAIN_CHECK,
         );
       }
       case 'drain-checked':
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { MAX_UNREAD_BYTES } from './constants.js';
+import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import type { Failure } from '../../core/verdict.js';
 import { toProblem } from '../../wire/problem.js';
 import type { AnswerHead } from '../types.js';
@@ -13,7 +13,7 @@
   readonly open: (key: number, requestId: string, response: ServerResponse) => void;
   readonly has: (key: number) => boolean;
   /** Drops an answer whose caller is gone. */
-  readonly forget: (key: number) => void;
+  readonly remove: (key: number) => void;
   readonly startAnswer: (key: number, head: AnswerHead) => void;
   /** Writes bytes; `too-slow` when the caller does not read them. */
   readonly writeAnswer: (key: number, bytes: Uint8Array) => 'written' | 'too-slow';
@@ -22,7 +22,7 @@
   readonly refuse: (key: number, failure: Failure) => void;
   /** Ends the connection without completing the answer. */
   readonly breakAnswer: (key: number) => void;
-  readonly failAll: (failure: Failure) => void;
+  readonly refuseAll: (failure: Failure) => void;
   /** Marks all further answers as the last of their connections. */
   readonly startDrain: () => void;
   readonly reportUnreadable: (error: Error) => void;
@@ -45,14 +45,14 @@
 /**
  * Creates the table of open answers.
  *
- * @param onBadCaller - receives errors of connections whose bytes are no request
+ * @param onUnreadable - receives errors of connections whose bytes are no request
  * @returns the empty table
  */
-export const createResponders = (onBadCaller: (error: Error) => void): Responders => {
+export const createResponders = (onUnreadable: (error: Error) => void): Responders => {
   const open = new Map<number, OpenAnswer>();
   let phase: 'serving' | 'draining' = 'serving';
 
-  const take = (key: number): OpenAnswer | undefined => {
+  const removeAnswer = (key: number): OpenAnswer | undefined => {
     const answer = open.get(key);
     open.delete(key);
     return answer;
@@ -62,7 +62,7 @@
     phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
 
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
-    const answer = take(key);
+    const answer = removeAnswer(key);
     if (answer === undefined) return;
     const { response } = answer;
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
@@ -75,7 +75,7 @@
   };
 
   const refuse = (key: number, failure: Failure): void => {
-    const answer = take(key);
+    const answer = removeAnswer(key);
     if (answer === undefined) return;
     const { response, requestId } = answer;
     if (response.headersSent) {
@@ -107,7 +107,7 @@
       open.set(key, { requestId, response });
     },
     has: (key) => open.has(key),
-    forget: (key) => {
+    remove: (key) => {
       open.delete(key);
     },
     startAnswer: (key, head) => {
@@ -121,22 +121,22 @@
       const response = open.get(key)?.response;
       if (response === undefined) return 'written';
       response.write(bytes);
-      return response.writableLength > MAX_UNREAD_BYTES ? 'too-slow' : 'written';
+      return response.writableLength > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
     },
     endAnswer: (key) => {
-      take(key)?.response.end();
+      removeAnswer(key)?.response.end();
     },
     sendWhole,
     refuse,
     breakAnswer: (key) => {
-      take(key)?.response.destroy();
+      removeAnswer(key)?.response.destroy();
     },
-    failAll: (failure) => {
+    refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuse(key, failure);
     },
     startDrain: () => {
       phase = 'draining';
     },
-    reportUnreadable: onBadCaller,
+    reportUnreadable: onUnreadable,
   };
 };
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -20,7 +20,7 @@
       ]),
     ),
     removed: new Map(),
-    out: new Set(out),
+    dataCentresOut: new Set(out),
   },
   peers: {
     peers: new Map([
@@ -28,7 +28,7 @@
         '10.0.0.2',
         {
           host: '10.0.0.2',
-          heardAt: 1_000,
+          receivedAt: 1_000,
           message: {
             format: 2 as const,
             process: 'p-2',
@@ -41,7 +41,7 @@
         },
       ],
     ]),
-    seedsAskedAt: 0,
+    seedsContactedAt: 0,
   },
   requests: { table: new Map(), budgets: new Map(), coldSends: new Map() },
   moves: { orders: new Map() },
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -34,7 +34,7 @@
   const candidates: Candidate[] = [];
   const ownLoads = sumOwnLoads(requests);
   for (const { health, record, recordedAt } of membership.endpoints.values()) {
-    if (record.service !== service || membership.out.has(record.dataCentre)) continue;
+    if (record.service !== service || membership.dataCentresOut.has(record.dataCentre)) continue;
     if (record.version === moves.orders.get(service)?.targetVersion) continue;
     const own = ownLoads.get(record.id) ?? NO_LOAD;
     const isCold = now < recordedAt + record.coldForMs;
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,16 +1,16 @@
 import test from 'ava';
-import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS } from './constants.js';
+import { UNCERTAIN_REMOVAL_DELAY_MS, LEAVING_REPORT_VALIDITY_MS } from './constants.js';
 import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { RecordChange, RemovalTrust } from '../types.js';
+import type { RecordChange, RemovalCertainty } from '../types.js';
 
-const CERTAIN: RemovalTrust = { kind: 'certain' };
+const CERTAIN: RemovalCertainty = { kind: 'certain' };
 
-const createHarness = (watched: readonly string[] = []) => {
+const createHarness = (polled: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
-  const logic = createMembershipLogic({ clock, listWatched: () => watched });
+  const logic = createMembershipLogic({ clock, listPolledEngines: () => polled });
   let { state } = logic.init();
   const post = (event: MembershipEvent): readonly GatewayEffect[] => {
     const step = logic.decide(state, event);
@@ -20,7 +20,7 @@
   const change = (
     changes: readonly RecordChange[],
     scope: 'all' | 'changed' = 'changed',
-    removals: RemovalTrust = CERTAIN,
+    removals: RemovalCertainty = CERTAIN,
   ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
   return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
 };
@@ -47,11 +47,11 @@
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
-  const [timer] = harness.change([removal], 'changed', doubtful);
-  harness.change([{ ...removal, id: 'e-2' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  const [timer] = harness.change([removal], 'changed', uncertain);
+  harness.change([{ ...removal, id: 'e-2' }], 'changed', uncertain);
   t.deepEqual(harness.list(), ['e-1', 'e-2']);
-  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, DOUBTFUL_REMOVAL_MS);
+  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, UNCERTAIN_REMOVAL_DELAY_MS);
   harness.change([register('e-2')]);
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-2', removedAt: 1_000 });
@@ -64,8 +64,8 @@
   const harness = createHarness();
   harness.clock.advance(500);
   harness.change([register('e-1')]);
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_200 };
-  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_200 };
+  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   t.true(hasLeavingNotice(effects));
   t.deepEqual(harness.list(), []);
 });
@@ -87,8 +87,8 @@
 test('an endpoint that is not back in time is announced as leaving', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
-  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   const due = { to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 } as const;
   t.true(hasLeavingNotice(harness.post(due)));
 });
@@ -102,7 +102,7 @@
   harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
   harness.change([register('e-1')]);
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
-  harness.clock.advance(LEAVING_HOLD_MS);
+  harness.clock.advance(LEAVING_REPORT_VALIDITY_MS);
   harness.change([register('e-1')]);
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
 });
@@ -148,9 +148,9 @@
     changes: [out],
     scope: 'changed',
   });
-  t.true(harness.getState().out.has('dc-a'));
+  t.true(harness.getState().dataCentresOut.has('dc-a'));
   harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'changed' });
-  t.true(harness.getState().out.has('dc-a'));
+  t.true(harness.getState().dataCentresOut.has('dc-a'));
   harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'all' });
-  t.false(harness.getState().out.has('dc-a'));
+  t.false(harness.getState().dataCentresOut.has('dc-a'));
 });
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,8 +1,8 @@
 import {
-  DOUBTFUL_REMOVAL_MS,
-  LEAVING_HOLD_MS,
-  MAX_REMOVED,
-  REPORTS_INTERVAL_MS,
+  UNCERTAIN_REMOVAL_DELAY_MS,
+  LEAVING_REPORT_VALIDITY_MS,
+  MAX_REMOVED_ENDPOINTS,
+  REPORT_POLL_INTERVAL_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -16,7 +16,7 @@
 } from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { EngineReport, RecordChange, RemovalTrust } from '../types.js';
+import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
 
 /** One endpoint with what this daemon has seen of it. */
 export interface KnownEndpoint {
@@ -35,7 +35,7 @@
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
   /** Instants at which removed endpoints were learnt to be gone; the oldest are dropped. */
   readonly removed: Map<EndpointId, Millis>;
-  readonly out: Set<DataCentreId>;
+  readonly dataCentresOut: Set<DataCentreId>;
 }
 
 /**
@@ -58,14 +58,14 @@
 export interface MembershipInputs {
   readonly clock: Clock;
   /** Engines whose state is asked for, since the store does not tell it now. */
-  readonly listWatched: () => readonly EndpointId[];
+  readonly listPolledEngines: () => readonly EndpointId[];
 }
 
 type Effects = GatewayEffect[];
 
-const SCHEDULE_REPORTS: GatewayEffect = {
+const NEXT_REPORT_POLL: GatewayEffect = {
   kind: 'schedule',
-  delayMs: REPORTS_INTERVAL_MS,
+  delayMs: REPORT_POLL_INTERVAL_MS,
   event: { to: 'membership', kind: 'reports-due' },
 };
 
@@ -95,11 +95,11 @@
   // One that was announced as leaving is known to the others.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
-  if (removed.size > MAX_REMOVED && oldest !== undefined) removed.delete(oldest);
+  if (removed.size > MAX_REMOVED_ENDPOINTS && oldest !== undefined) removed.delete(oldest);
   return [describeEndpoint(known.record, 'removed'), ...notifyLeaving(id)];
 };
 
-const isNewLife = (known: KnownEndpoint, record: EndpointRecord): boolean =>
+const isNewIncarnation = (known: KnownEndpoint, record: EndpointRecord): boolean =>
   known.record.startedAt !== record.startedAt ||
   known.record.address.host !== record.address.host ||
   known.record.address.port !== record.address.port;
@@ -108,8 +108,8 @@
  * A registration that was written before an engine reported that it leaves does not take the report
  * back. A report may be that of an earlier life, so it does not hold for good.
  */
-const isOlderThanReport = (known: KnownEndpoint, now: Millis): boolean =>
-  known.leavingAt !== null && now - known.leavingAt < LEAVING_HOLD_MS;
+const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
+  known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
 
 const registerEndpoint = (
   { endpoints }: MembershipState,
@@ -117,8 +117,8 @@
   now: Millis,
 ): Effects => {
   const known = endpoints.get(registered.id);
-  const isNew = known === undefined || isNewLife(known, registered);
-  const isLeaving = !isNew && isOlderThanReport(known, now);
+  const isNew = known === undefined || isNewIncarnation(known, registered);
+  const isLeaving = !isNew && hasValidLeavingReport(known, now);
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
@@ -129,11 +129,14 @@
   return [describeEndpoint(record, 'phase'), ...leaving];
 };
 
-const isCertain = ({ record, recordedAt }: KnownEndpoint, removals: RemovalTrust): boolean => {
+const isRemovalCertain = (
+  { record, recordedAt }: KnownEndpoint,
+  removals: RemovalCertainty,
+): boolean => {
   switch (removals.kind) {
     case 'certain':
       return true;
-    case 'doubtful':
+    case 'uncertain':
       return record.phase === 'leaving' || recordedAt > removals.since;
     default:
       return assertNever(removals);
@@ -143,19 +146,19 @@
 const removeEndpoint = (
   state: MembershipState,
   id: EndpointId,
-  removals: RemovalTrust,
+  removals: RemovalCertainty,
   now: Millis,
 ): Effects => {
   const { endpoints } = state;
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (isCertain(known, removals)) return pruneEndpoint(state, known, now);
+  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, now);
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
     {
       kind: 'schedule',
-      delayMs: DOUBTFUL_REMOVAL_MS,
+      delayMs: UNCERTAIN_REMOVAL_DELAY_MS,
       event: { to: 'membership', kind: 'removal-due', id, removedAt: now },
     },
   ];
@@ -188,7 +191,7 @@
 });
 
 const applyDataCentres = (
-  { out }: MembershipState,
+  { dataCentresOut }: MembershipState,
   changes: readonly RecordChange[],
   scope: 'all' | 'changed',
 ): Effects => {
@@ -197,35 +200,36 @@
   for (const change of changes) {
     if (change.kind === 'data-centre-out') {
       ordered.add(change.dataCentre);
-      if (!out.has(change.dataCentre)) effects.push(describeDataCentre(change.dataCentre, 'out'));
-      out.add(change.dataCentre);
-    } else if (change.kind === 'data-centre-in' && out.delete(change.dataCentre)) {
+      if (!dataCentresOut.has(change.dataCentre))
+        effects.push(describeDataCentre(change.dataCentre, 'out'));
+      dataCentresOut.add(change.dataCentre);
+    } else if (change.kind === 'data-centre-in' && dataCentresOut.delete(change.dataCentre)) {
       effects.push(describeDataCentre(change.dataCentre, 'in'));
     }
   }
   if (scope === 'changed') return effects;
-  for (const dataCentre of [...out].filter((name) => !ordered.has(name))) {
-    out.delete(dataCentre);
+  for (const dataCentre of [...dataCentresOut].filter((name) => !ordered.has(name))) {
+    dataCentresOut.delete(dataCentre);
     effects.push(describeDataCentre(dataCentre, 'in'));
   }
   return effects;
 };
 
-const applySign = (
+const applyObservation = (
   { endpoints }: MembershipState,
   id: EndpointId,
-  sign: AttemptObservation,
+  observation: AttemptObservation,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  const health = observeAttempt(known.health, sign, now);
+  const health = observeAttempt(known.health, observation, now);
   endpoints.set(id, { ...known, health });
   const isAvoided =
-    health.avoidUntil > now && known.health.avoidUntil <= now && sign.kind !== 'full';
+    health.avoidUntil > now && known.health.avoidUntil <= now && observation.kind !== 'full';
   if (!isAvoided) return [];
   const data = {
-    sign: sign.kind,
+    sign: observation.kind,
     failureRate: Math.round(health.failureRate * 100) / 100,
     forMs: Math.round(health.avoidUntil - now),
     recordAgeMs: Math.round(now - known.recordedAt),
@@ -233,7 +237,7 @@
   return [{ kind: 'log', name: 'endpoint-avoided', details: { endpoint: id, data } }];
 };
 
-const applyRemoval = (
+const applyDelayedRemoval = (
   state: MembershipState,
   id: EndpointId,
   removedAt: Millis,
@@ -244,8 +248,8 @@
   return pruneEndpoint(state, known, now);
 };
 
-const readReports = ({ endpoints }: MembershipState, watched: readonly EndpointId[]): Effects =>
-  watched.flatMap((endpoint): Effects => {
+const readReports = ({ endpoints }: MembershipState, polled: readonly EndpointId[]): Effects =>
+  polled.flatMap((endpoint): Effects => {
     const address = endpoints.get(endpoint)?.record.address;
     return address === undefined ? [] : [{ kind: 'read-report', endpoint, address }];
   });
@@ -272,12 +276,12 @@
  */
 export const createMembershipLogic = ({
   clock,
-  listWatched,
+  listPolledEngines,
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
     toStep<MembershipState, GatewayEffect>(
-      { loaded: 'no', endpoints: new Map(), removed: new Map(), out: new Set() },
-      SCHEDULE_REPORTS,
+      { loaded: 'no', endpoints: new Map(), removed: new Map(), dataCentresOut: new Set() },
+      NEXT_REPORT_POLL,
     ),
   decide: (state, event) => {
     const now = clock.now();
@@ -290,13 +294,13 @@
       case 'data-centres-changed':
         return { state, effects: applyDataCentres(state, event.changes, event.scope) };
       case 'attempt-observed':
-        return { state, effects: applySign(state, event.endpoint, event.sign, now) };
+        return { state, effects: applyObservation(state, event.endpoint, event.sign, now) };
       case 'reports-due':
-        return { state, effects: [...readReports(state, listWatched()), SCHEDULE_REPORTS] };
+        return { state, effects: [...readReports(state, listPolledEngines()), NEXT_REPORT_POLL] };
       case 'report-read':
         return { state, effects: applyReport(state, event.endpoint, event.report, now) };
       case 'removal-due':
-        return { state, effects: applyRemoval(state, event.id, event.removedAt, now) };
+        return { state, effects: applyDelayedRemoval(state, event.id, event.removedAt, now) };
       default:
         return assertNever(event);
     }
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -1,4 +1,4 @@
-import { MAX_NAMED_CRASHES } from './constants.js';
+import { MAX_REPORTED_CRASHES } from './constants.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
 import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
@@ -13,7 +13,7 @@
 export interface CrashReports {
   readonly table: CrashTable;
   readonly addOwn: (fingerprint: string, endpoint: string) => void;
-  readonly addHeard: (fingerprint: string, endpoint: string) => void;
+  readonly addFromPeer: (fingerprint: string, endpoint: string) => void;
   /** Lists the newest crashes that this daemon saw itself. */
   readonly listSince: (since: Millis) => readonly (readonly [string, string])[];
 }
@@ -32,9 +32,9 @@
     addOwn: (fingerprint, endpoint) => {
       const at = clock.now();
       recordCrash(table, fingerprint, endpoint, at);
-      own = [...own, { fingerprint, endpoint, at }].slice(-MAX_NAMED_CRASHES);
+      own = [...own, { fingerprint, endpoint, at }].slice(-MAX_REPORTED_CRASHES);
     },
-    addHeard: (fingerprint, endpoint) => {
+    addFromPeer: (fingerprint, endpoint) => {
       recordCrash(table, fingerprint, endpoint, clock.now());
     },
     listSince: (since) =>
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -9,20 +9,20 @@
   readonly close: () => void;
 }
 
-const isRow = (value: unknown): boolean =>
+const isLoadRow = (value: unknown): boolean =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
   Number.isFinite(value[1]) &&
   Number.isFinite(value[2]) &&
   Number.isFinite(value[3]);
 
-const isCount = (value: unknown): boolean =>
+const isTransferRow = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
 
-const isTextList = (value: unknown): boolean =>
-  Array.isArray(value) && value.every((text) => typeof text === 'string');
+const isStringList = (value: unknown): boolean =>
+  Array.isArray(value) && value.every((item) => typeof item === 'string');
 
-const isPair = (value: unknown): boolean =>
+const isStringPair = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string';
 
 const isMessage = (value: unknown): value is PeerMessage => {
@@ -35,13 +35,13 @@
     format === 2 &&
     typeof process === 'string' &&
     Array.isArray(load) &&
-    load.every(isRow) &&
+    load.every(isLoadRow) &&
     Array.isArray(transfers) &&
-    transfers.every(isCount) &&
-    isTextList(hosts) &&
-    isTextList(leaving) &&
+    transfers.every(isTransferRow) &&
+    isStringList(hosts) &&
+    isStringList(leaving) &&
     Array.isArray(crashes) &&
-    crashes.every(isPair)
+    crashes.every(isStringPair)
   );
 };
 
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
-import { PEER_FORGET_MS, PEER_LOAD_AGE_MS, REPORT_INTERVAL_MS, TURN_REPORTS } from './constants.js';
-import { countDaemons, createPeersLogic, hasPeerBefore, sumPeerLoad } from './peers.js';
+import {
+  PEER_EXPIRY_MS,
+  MAX_PEER_LOAD_AGE_MS,
+  REPORT_INTERVAL_MS,
+  MAX_MISSED_REPORTS,
+} from './constants.js';
+import { countDaemons, createPeersLogic, isPrecededByPeer, sumPeerLoad } from './peers.js';
 import { decodePeerMessage } from './peerSocket.js';
 import type { PeerMessage } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
@@ -39,7 +44,7 @@
     return step.effects;
   };
   const hear = (host: string, change: Partial<PeerMessage> = {}) =>
-    post({ to: 'peers', kind: 'peer-heard', host, message: { ...MESSAGE, ...change } });
+    post({ to: 'peers', kind: 'peer-report-received', host, message: { ...MESSAGE, ...change } });
   return { clock, crashes, post, hear, getState: () => state };
 };
 
@@ -64,9 +69,9 @@
   harness.hear('10.0.0.2');
   const { clock } = harness;
   t.is(sumPeerLoad(harness.getState(), 'e-1', clock.now()).tokens, 500);
-  clock.advance(PEER_LOAD_AGE_MS + 1);
+  clock.advance(MAX_PEER_LOAD_AGE_MS + 1);
   t.is(sumPeerLoad(harness.getState(), 'e-1', clock.now()).tokens, 0);
-  clock.advance(PEER_FORGET_MS);
+  clock.advance(PEER_EXPIRY_MS);
   harness.post({ to: 'peers', kind: 'report-due' });
   t.is(countDaemons(harness.getState()), 1);
 });
@@ -75,8 +80,12 @@
 // generations of little worth that use up the notice.
 test('turns follow the worth of the generations, and the names between equals', (t) => {
   const harness = createHarness();
-  const check = (source: string, worth: number): boolean =>
-    hasPeerBefore(harness.getState(), { source, worth, process: 'gateway-5' }, harness.clock.now());
+  const check = (source: string, priority: number): boolean =>
+    isPrecededByPeer(
+      harness.getState(),
+      { source, priority, process: 'gateway-5' },
+      harness.clock.now(),
+    );
   harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
   harness.hear('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 700]] });
   t.true(check('e-1', 600));
@@ -90,9 +99,9 @@
 test('a silent peer does not hold up the transfers of others', (t) => {
   const harness = createHarness();
   harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
-  harness.clock.advance(TURN_REPORTS * REPORT_INTERVAL_MS + 1);
-  const turn = { source: 'e-1', worth: 600, process: 'gateway-5' };
-  t.false(hasPeerBefore(harness.getState(), turn, harness.clock.now()));
+  harness.clock.advance(MAX_MISSED_REPORTS * REPORT_INTERVAL_MS + 1);
+  const transfer = { source: 'e-1', priority: 600, process: 'gateway-5' };
+  t.false(isPrecededByPeer(harness.getState(), transfer, harness.clock.now()));
 });
 
 // Guards against crashes and notices that each daemon has to see for itself.
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -1,16 +1,16 @@
 import {
   CRASH_REPEAT_MS,
   LEAVING_REPEAT_MS,
-  MAX_LOAD_ROWS,
-  MAX_NAMED_CRASHES,
-  MAX_NAMED_HOSTS,
-  MAX_NAMED_LEAVING,
+  MAX_REPORTED_LOAD_ROWS,
+  MAX_REPORTED_CRASHES,
+  MAX_REPORTED_HOSTS,
+  MAX_REPORTED_LEAVING,
   MAX_REPORT_TARGETS,
-  PEER_FORGET_MS,
-  PEER_LOAD_AGE_MS,
+  PEER_EXPIRY_MS,
+  MAX_PEER_LOAD_AGE_MS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
-  TURN_REPORTS,
+  MAX_MISSED_REPORTS,
 } from './constants.js';
 import type { LoadRow, Peer, PeerMessage } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -26,7 +26,7 @@
 /** Other gateway daemons; the map is updated in place by this child alone. */
 export interface PeersState {
   readonly peers: Map<string, Peer>;
-  readonly seedsAskedAt: Millis;
+  readonly seedsContactedAt: Millis;
 }
 
 export interface PeersInputs {
@@ -56,8 +56,8 @@
  */
 export const sumPeerLoad = (state: PeersState, endpoint: EndpointId, now: Millis): EndpointLoad => {
   let sum = NO_LOAD;
-  for (const { heardAt, message } of state.peers.values()) {
-    if (now - heardAt > PEER_LOAD_AGE_MS) continue;
+  for (const { receivedAt, message } of state.peers.values()) {
+    if (now - receivedAt > MAX_PEER_LOAD_AGE_MS) continue;
     for (const row of message.load) {
       if (row[0] !== endpoint) continue;
       const [, requests, tokens, waitingTokens] = row;
@@ -76,9 +76,9 @@
 export const countDaemons = (state: PeersState): number => state.peers.size + 1;
 
 /** A daemon's next generation to take from an endpoint that leaves. */
-export interface TransferTurn {
+export interface PendingTransfer {
   readonly source: EndpointId;
-  readonly worth: number;
+  readonly priority: number;
   readonly process: string;
 }
 
@@ -87,18 +87,23 @@
  * be lost; the names decide between equals, so that all daemons agree.
  *
  * @param state - peers as they were last heard
- * @param turn - this daemon's next generation
+ * @param transfer - this daemon's next generation
  * @param now - current instant; older reports do not count
  * @returns whether this daemon has to wait
  */
-export const hasPeerBefore = (state: PeersState, turn: TransferTurn, now: Millis): boolean =>
+export const isPrecededByPeer = (
+  state: PeersState,
+  transfer: PendingTransfer,
+  now: Millis,
+): boolean =>
   [...state.peers.values()].some(
-    ({ heardAt, message }) =>
-      now - heardAt <= TURN_REPORTS * REPORT_INTERVAL_MS &&
+    ({ receivedAt, message }) =>
+      now - receivedAt <= MAX_MISSED_REPORTS * REPORT_INTERVAL_MS &&
       message.transfers.some(
-        ([source, worth]) =>
-          source === turn.source &&
-          (worth > turn.worth || (worth === turn.worth && message.process < turn.process)),
+        ([source, priority]) =>
+          source === transfer.source &&
+          (priority > transfer.priority ||
+            (priority === transfer.priority && message.process < transfer.process)),
       ),
   );
 
@@ -110,12 +115,14 @@
  * @param now - current instant
  * @returns the number
  */
-export const countHeard = (state: PeersState, now: Millis): number =>
-  1 + [...state.peers.values()].filter(({ heardAt }) => now - heardAt <= PEER_LOAD_AGE_MS).length;
+export const countReachableDaemons = (state: PeersState, now: Millis): number =>
+  1 +
+  [...state.peers.values()].filter(({ receivedAt }) => now - receivedAt <= MAX_PEER_LOAD_AGE_MS)
+    .length;
 
 const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
   const known = [...state.peers.values()].map(({ host }) => host);
-  const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
+  const isSeedTurn = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
   const seeds = isSeedTurn ? inputs.getSeeds() : [];
   const all = [...new Set([...known, ...seeds])].filter((host) => host !== inputs.ownHost);
   if (all.length <= MAX_REPORT_TARGETS) return all;
@@ -127,10 +134,10 @@
   format: 2,
   process: inputs.process,
   transfers: inputs.listOwnTransfers(),
-  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_NAMED_LEAVING),
-  load: inputs.listOwnLoad().slice(0, MAX_LOAD_ROWS),
-  hosts: [...state.peers.values()].slice(0, MAX_NAMED_HOSTS).map(({ host }) => host),
-  crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_NAMED_CRASHES),
+  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_REPORTED_LEAVING),
+  load: inputs.listOwnLoad().slice(0, MAX_REPORTED_LOAD_ROWS),
+  hosts: [...state.peers.values()].slice(0, MAX_REPORTED_HOSTS).map(({ host }) => host),
+  crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_REPORTED_CRASHES),
 });
 
 const sendReport = (state: PeersState, inputs: PeersInputs): GatewayEffect => {
@@ -139,13 +146,13 @@
   return { kind: 'send-peers', hosts, message: buildMessage(state, inputs, now) };
 };
 
-const report = (state: PeersState, inputs: PeersInputs) => {
+const handleReportDue = (state: PeersState, inputs: PeersInputs) => {
   const now = inputs.clock.now();
-  for (const [name, peer] of state.peers) {
-    if (now - peer.heardAt > PEER_FORGET_MS) state.peers.delete(name);
+  for (const [host, peer] of state.peers) {
+    if (now - peer.receivedAt > PEER_EXPIRY_MS) state.peers.delete(host);
   }
-  const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
-  const next = isSeedTurn ? { ...state, seedsAskedAt: now } : state;
+  const isSeedTurn = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
+  const next = isSeedTurn ? { ...state, seedsContactedAt: now } : state;
   return toStep<PeersState, GatewayEffect>(
     next,
     {
@@ -159,17 +166,17 @@
 
 const receiveReport = (
   state: PeersState,
-  event: Extract<PeersEvent, { kind: 'peer-heard' }>,
+  event: Extract<PeersEvent, { kind: 'peer-report-received' }>,
   inputs: PeersInputs,
 ) => {
   const { host, message } = event;
   if (host === inputs.ownHost) return toStep<PeersState, GatewayEffect>(state);
   const now = inputs.clock.now();
   const known = state.peers.get(host);
-  state.peers.set(host, { host, heardAt: now, message });
+  state.peers.set(host, { host, receivedAt: now, message });
   for (const [fingerprint, endpoint] of message.crashes) inputs.addCrash(fingerprint, endpoint);
   const unknown = message.hosts.filter(
-    (named) => named !== inputs.ownHost && !state.peers.has(named),
+    (other) => other !== inputs.ownHost && !state.peers.has(other),
   );
   const effects: GatewayEffect[] =
     unknown.length === 0
@@ -204,16 +211,16 @@
 ): ChildLogic<PeersState, PeersEvent, GatewayEffect> => ({
   init: () =>
     toStep<PeersState, GatewayEffect>(
-      { peers: new Map(), seedsAskedAt: 0 },
+      { peers: new Map(), seedsContactedAt: 0 },
       { kind: 'post', event: { to: 'peers', kind: 'report-due' } },
     ),
   decide: (state, event) => {
     switch (event.kind) {
       case 'report-due':
-        return report(state, inputs);
+        return handleReportDue(state, inputs);
       case 'report-changed':
         return toStep<PeersState, GatewayEffect>(state, sendReport(state, inputs));
-      case 'peer-heard':
+      case 'peer-report-received':
         return receiveReport(state, event, inputs);
       default:
         return assertNever(event);
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -14,7 +14,7 @@
   readonly process: string;
   readonly load: readonly LoadRow[];
   /** Endpoints that leave and still run generations to be taken elsewhere, with the greatest worth. */
-  readonly transfers: readonly (readonly [source: string, worth: number])[];
+  readonly transfers: readonly (readonly [source: string, priority: number])[];
   /** Endpoints that the sender has lately learnt to leave. */
   readonly leaving: readonly string[];
   /** Hosts of other daemons that the sender hears. */
@@ -26,6 +26,6 @@
 /** Another daemon as it was last heard. */
 export interface Peer {
   readonly host: string;
-  readonly heardAt: Millis;
+  readonly receivedAt: Millis;
   readonly message: PeerMessage;
 }
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -24,18 +24,18 @@
   readonly endProcess: (left: number) => void;
 }
 
-const LOST_REQUEST = createFailure(
+const REQUEST_STATE_LOST = createFailure(
   'may-have-run',
   'internal',
   'the daemon lost the state of the request',
 );
 
-const postFeed = (
+const postFeedResult = (
   feed: FeedName,
-  reading: Promise<FeedResult>,
+  pending: Promise<FeedResult>,
   adapters: GatewayAdapters,
 ): void => {
-  void reading.then((result) => {
+  void pending.then((result) => {
     adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
   });
 };
@@ -84,10 +84,14 @@
       metrics.recordLatency(effect.name, effect.route, effect.duration);
       return;
     case 'load-feed':
-      postFeed(effect.feed, feeds.load(effect.feed), adapters);
+      postFeedResult(effect.feed, feeds.load(effect.feed), adapters);
       return;
     case 'read-feed':
-      postFeed(effect.feed, feeds.read(effect.feed, effect.position, effect.waitMs), adapters);
+      postFeedResult(
+        effect.feed,
+        feeds.read(effect.feed, effect.position, effect.waitMs),
+        adapters,
+      );
       return;
     case 'send-peers':
       peers.send(effect.hosts, effect.message);
@@ -130,7 +134,7 @@
       return;
     case 'reset-requests':
       endpoints.close();
-      responders.failAll(LOST_REQUEST);
+      responders.refuseAll(REQUEST_STATE_LOST);
       return;
     case 'apply-limits':
       callers.applyLimits(effect.idleTimeoutMs, effect.headerTimeoutMs, effect.maxBodyBytes);
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -34,11 +34,11 @@
   readonly graceMs: Millis;
   /** Factor of the bound on requests to a cold endpoint. */
   readonly coldOvershoot: number;
-  readonly learnWithin: LearnWithin;
+  readonly learnWithin: StalenessLimits;
 }
 
 /** Times within which a daemon has to know what was published. */
-export interface LearnWithin {
+export interface StalenessLimits {
   /** That an endpoint leaves. */
   readonly leavingMs: Millis;
   /** Time after a disturbance of its connections from which the others hold. */
@@ -75,13 +75,13 @@
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
 
 /** What the removal of a registration says. */
-export type RemovalTrust =
+export type RemovalCertainty =
   | { readonly kind: 'certain' }
   /**
    * The store was away until `since`, and registrations may have lapsed meanwhile. One that was
    * written after that and is removed again is gone.
    */
-  | { readonly kind: 'doubtful'; readonly since: Millis };
+  | { readonly kind: 'uncertain'; readonly since: Millis };
 
 /** Result of reading a feed. */
 export type FeedResult =
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -7,7 +7,7 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
 import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
-import type { FeedPace } from './feeds/feeds.js';
+import type { PacingInputs } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -18,7 +18,12 @@
 import { createMovesLogic } from './moves/moves.js';
 import { createCrashReports } from './peers/crashReports.js';
 import type { CrashReports } from './peers/crashReports.js';
-import { countDaemons, countHeard, createPeersLogic, hasPeerBefore } from './peers/peers.js';
+import {
+  countDaemons,
+  countReachableDaemons,
+  createPeersLogic,
+  isPrecededByPeer,
+} from './peers/peers.js';
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
@@ -115,8 +120,8 @@
     responders: cradle.responders,
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
-    postGone: (key) => {
-      cradle.responders.forget(key);
+    postDisconnect: (key) => {
+      cradle.responders.remove(key);
       cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', key });
     },
   });
@@ -130,7 +135,7 @@
   createPeerSocket(
     cradle.settings.peers,
     (host, message) => {
-      cradle.daemon.loop.post({ to: 'peers', kind: 'peer-heard', host, message });
+      cradle.daemon.loop.post({ to: 'peers', kind: 'peer-report-received', host, message });
     },
     (error) => {
       cradle.events.record('peer-unreachable', { data: { error: error.message } });
@@ -139,9 +144,9 @@
 
 const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
   const { clock, crashes, live, random, settings, states } = cradle;
-  const getPace = (): FeedPace => ({
-    daemons: countHeard(states.peers, clock.now()),
-    learnWithin: live.current.learnWithin,
+  const getPacingInputs = (): PacingInputs => ({
+    daemons: countReachableDaemons(states.peers, clock.now()),
+    stalenessLimits: live.current.learnWithin,
   });
   return {
     requests: createRequestsLogic({
@@ -151,8 +156,12 @@
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
-      hasPeerBefore: (source, worth) =>
-        hasPeerBefore(states.peers, { source, worth, process: settings.process }, clock.now()),
+      hasPeerBefore: (source, priority) =>
+        isPrecededByPeer(
+          states.peers,
+          { source, priority, process: settings.process },
+          clock.now(),
+        ),
       getLive: () => live.current,
       crashes: crashes.table,
       addOwnCrash: crashes.addOwn,
@@ -174,18 +183,18 @@
       listLeaving: (since) => listLeaving(states.membership, since),
       listOwnTransfers: () => [...listOwnTransfers(states.requests, clock.now())],
       listCrashes: crashes.listSince,
-      addCrash: crashes.addHeard,
+      addCrash: crashes.addFromPeer,
     }),
     configuration: createConfigurationLogic(),
     membership: createMembershipLogic({
       clock,
-      listWatched: () =>
-        isFeedStale(states.feeds.registrations, clock.now(), getPace())
+      listPolledEngines: () =>
+        isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listStreaming(states.requests)
           : [],
     }),
     moves: createMovesLogic(),
-    feeds: createFeedsLogic({ clock, getPace }),
+    feeds: createFeedsLogic({ clock, getPacingInputs }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
