Reword the comments of the gateway's types, events and wiring

Phrases such as "takes over what a running daemon can", "what an engine says of itself" and "names and values in turn" are replaced by the terms of the field: applies, reports, alternating. The restart strategy says which children restart. The readiness page says that the configuration or the endpoints have not been loaded yet.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -3,10 +3,11 @@
 import type { QueueClass } from '../core/loop/types.js';
 
 /**
- * Classifies an event for the bounded queue: new requests are shed first, then reports of peers.
+ * Classifies an event for the bounded queue, which sheds new requests first and reports of peers
+ * next.
  *
- * @param event - event to queue
- * @returns its importance
+ * @param event - event to enqueue
+ * @returns its class
  */
 export const classifyEvent = (event: GatewayEvent): QueueClass => {
   switch (event.kind) {
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -23,13 +23,13 @@
   ForwardRequest,
 } from '../decisions/forwarding/types.js';
 
-/** How an attempt ended without a usable answer. */
+/** Why an attempt ended without a complete answer. */
 export type AttemptFailure =
-  /** No connection was made, so nothing was sent. */
+  /** The connection was not established, so nothing was sent. */
   | { readonly kind: 'unreachable'; readonly message: string }
-  /** The connection ended before the answer did. */
+  /** The connection closed before the answer was complete. */
   | { readonly kind: 'broken'; readonly message: string }
-  /** The bytes are no answer to this request. */
+  /** The answer is malformed or too large, or it belongs to another request. */
   | { readonly kind: 'garbled'; readonly message: string };
 
 export type FeedsEvent = { readonly to: 'feeds' } & (
@@ -67,7 +67,7 @@
 export type PeersEvent = { readonly to: 'peers' } & (
   | { readonly kind: 'peer-report-received'; readonly host: string; readonly message: PeerMessage }
   | { readonly kind: 'report-due' }
-  /** Something changed that the other daemons wait for. */
+  /** The other daemons need a change before the next regular report. */
   | { readonly kind: 'report-changed' }
 );
 
@@ -130,7 +130,7 @@
   | RequestsEvent
   | FrontendEvent;
 
-/** One attempt to be sent to an endpoint. */
+/** An attempt to send to an endpoint. */
 export interface AttemptOrder {
   readonly key: number;
   readonly attempt: number;
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -6,24 +6,24 @@
 
 /** A gateway daemon that serves until it is stopped. */
 export interface RunningGateway {
-  /** Drains and ends; resolves when nothing is left or the grace period is over. */
+  /** Drains and stops the daemon; resolves when no work is left or the grace period is over. */
   readonly stop: () => Promise<void>;
-  /** Takes over what a running daemon can of changed settings. */
+  /** Applies the changed settings that do not need a restart. */
   readonly reload: (settings: GatewaySettings) => void;
-  /** Resolves when the daemon ended, for whatever reason. */
+  /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
 }
 
 const STATUS_READY = 200;
 const STATUS_UNREADY = 503;
 
-/** Time after the start at which the libraries of the metrics are loaded. */
+/** Delay after the start until the metrics libraries are loaded. */
 const METRICS_LOAD_MS = 2_000;
 
 const getUnreadyReason = ({ states }: GatewayCradle): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
-  if (states.configuration.table === null) return 'the configuration was not read yet';
-  return states.membership.loaded === 'no' ? 'the endpoints were not read yet' : null;
+  if (states.configuration.table === null) return 'the configuration has not been loaded yet';
+  return states.membership.loaded === 'no' ? 'the endpoints have not been loaded yet' : null;
 };
 
 const renderReadiness = (cradle: GatewayCradle): StatusPage => {
@@ -50,8 +50,8 @@
 /**
  * Starts a gateway daemon in this process.
  *
- * @param settings - checked settings
- * @param ports - what the platform provides
+ * @param settings - validated settings
+ * @param ports - adapters to the platform
  * @returns the running daemon
  */
 export const startGateway = async (
@@ -69,7 +69,7 @@
   };
   const status = createStatusServer(buildStatusPage(cradle, ports.codec), onPageError);
   const pages = createStatusServer(buildStatusPage(cradle, ports.codec), onPageError);
-  // The tree runs before the first address is open, since every arrival is an event for it.
+  // The supervisor tree starts before any address is open, since it handles the requests.
   daemon.start();
   await peers.open();
   await Promise.all([
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -10,7 +10,7 @@
 import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createFailure } from '../core/verdict.js';
 
-/** Adapters that carry out the effects of a gateway daemon. */
+/** Adapters that perform the effects of a gateway daemon. */
 export interface GatewayAdapters {
   readonly loop: () => Loop<GatewayEvent>;
   readonly events: EventLog;
@@ -60,7 +60,7 @@
 };
 
 /**
- * Carries out one effect.
+ * Performs one effect.
  *
  * @param effect - effect of a decision
  * @param adapters - adapters of the daemon
@@ -116,7 +116,7 @@
       return;
     case 'write-answer':
       if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
-      // The caller reads too slowly to hold its stream here.
+      // Closes the stream, so that a slow caller does not fill the daemon's memory.
       responders.breakAnswer(effect.key);
       loop().post({ to: 'requests', kind: 'caller-gone', key: effect.key });
       return;
--- a/packages/gateway/supervisor.ts
+++ b/packages/gateway/supervisor.ts
@@ -19,7 +19,7 @@
 import { buildRoutedChild } from '../core/supervision/routedChild.js';
 import type { ChildLogic, SupervisorSpec } from '../core/supervision/types.js';
 
-/** Read-only views of the children's states, published after each of their steps. */
+/** Newest state of each child, published after each of its steps for the other children to read. */
 export interface GatewayStates {
   configuration: ConfigurationState;
   membership: MembershipState;
@@ -30,7 +30,7 @@
   frontend: GateState;
 }
 
-/** Decisions of each child. */
+/** Decision logic of each child. */
 export interface GatewayLogics {
   readonly configuration: ChildLogic<ConfigurationState, ConfigurationEvent, GatewayEffect>;
   readonly membership: ChildLogic<MembershipState, MembershipEvent, GatewayEffect>;
@@ -42,10 +42,13 @@
 }
 
 /**
- * Describes the root supervisor of a gateway daemon. A failed child that the feeds fill takes the
- * feeds with it, so that they load everything again; the requests keep their own restart.
+ * Describes the root supervisor of a gateway daemon.
  *
- * @param logics - decisions of the children
+ * When a child whose state comes from the feeds fails, `rest-for-one` also restarts the `feeds`
+ * child, which then loads all records again. The `requests` child comes first, so that failures of
+ * other children do not restart it.
+ *
+ * @param logics - decision logic of the children
  * @param states - receives each new state
  * @returns the supervisor's specification
  */
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -14,52 +14,52 @@
 export interface GatewaySettings {
   readonly process: string;
   readonly dataCentre: DataCentreId;
-  /** Address on which callers connect. */
+  /** Address for connections of callers. */
   readonly callers: EndpointAddress;
-  /** Address on which the platform asks whether the daemon is ready. */
+  /** Address for readiness probes of the platform. */
   readonly readiness: EndpointAddress;
-  /** Address for datagrams of other gateway daemons. */
+  /** Address for datagrams from other gateway daemons. */
   readonly peers: EndpointAddress;
   readonly metrics: EndpointAddress;
   readonly store: StoreSettings;
   readonly live: LiveSettings;
 }
 
-/** Settings that a running daemon takes over when its file changes. */
+/** Settings that a running daemon applies when the settings file changes. */
 export interface LiveSettings {
-  /** Hosts of gateway daemons to begin with; some may be gone. */
+  /** Hosts at which to look for other gateway daemons; some may be down. */
   readonly seeds: readonly string[];
   readonly budget: RetryBudgetSettings;
-  /** Time from the order to stop until the process is killed. */
+  /** Time from the stop signal until the platform kills the process. */
   readonly graceMs: Millis;
-  /** Factor of the bound on requests to a cold endpoint. */
+  /** Factor by which the rate of requests to a cold endpoint may exceed its limit. */
   readonly coldOvershoot: number;
   readonly learnWithin: StalenessLimits;
 }
 
-/** Times within which a daemon has to know what was published. */
+/** Limits on how late a daemon may learn of published records. */
 export interface StalenessLimits {
-  /** That an endpoint leaves. */
+  /** Time within which a daemon has to learn that an endpoint leaves. */
   readonly leavingMs: Millis;
-  /** Time after a disturbance of its connections from which the others hold. */
+  /** Time after a disturbance of the daemon's connections from which the other limits apply. */
   readonly outageMs: Millis;
 }
 
-/** The platform's store as its client needs it. */
+/** Settings of the client of the platform's store. */
 export interface StoreSettings {
   readonly address: EndpointAddress;
   readonly timeoutMs: Millis;
 }
 
-/** The two streams of records that a gateway follows. */
+/** The two record streams that a gateway daemon follows. */
 export type FeedName = 'operator' | 'registrations';
 
-/** Order to move a service's traffic to another version. */
+/** Order of an operator to move a service's traffic to another version. */
 export interface MoveOrder {
   readonly service: ServiceName;
   readonly targetVersion: string;
   readonly durationMs: Millis;
-  /** Position of the order, which tells two orders for one service apart. */
+  /** Position of the order in its feed, which distinguishes two orders for one service. */
   readonly offset: number;
 }
 
@@ -74,109 +74,112 @@
   | { readonly kind: 'endpoint-removed'; readonly id: EndpointId }
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
 
-/** What the removal of a registration says. */
+/** Whether the removal of a registration proves that its endpoint is gone. */
 export type RemovalCertainty =
   | { readonly kind: 'certain' }
   /**
-   * The store was away until `since`, and registrations may have lapsed meanwhile. One that was
-   * written after that and is removed again is gone.
+   * The store was unavailable until `since`, so that registrations may have expired although their
+   * endpoints run. The removal of a registration that was renewed after `since` is certain.
    */
   | { readonly kind: 'uncertain'; readonly since: Millis };
 
 /** Result of reading a feed. */
 export type FeedResult =
   | {
-      /** All current records; what is not among them does not exist. */
+      /** All current records; records that are missing from `changes` no longer exist. */
       readonly kind: 'loaded';
       readonly changes: readonly RecordChange[];
       readonly position: number;
     }
   | { readonly kind: 'read'; readonly changes: readonly RecordChange[]; readonly position: number }
-  /** The records after the position are no longer kept. */
+  /** The store no longer keeps the records after the position. */
   | { readonly kind: 'expired' }
   | { readonly kind: 'failed'; readonly message: string };
 
-/** Access to the feeds; results come as completions. */
+/** Reads the feeds; a failed read is a result too. */
 export interface FeedReader {
   readonly load: (feed: FeedName) => Promise<FeedResult>;
   readonly read: (feed: FeedName, position: number, waitMs: Millis) => Promise<FeedResult>;
   readonly close: () => void;
 }
 
-/** Head of an attempt, apart from what the caller's request already holds. */
+/** Fields of an attempt's head that are not part of the caller's request. */
 export interface AttemptHead {
   readonly endpointId: EndpointId;
-  /** Time that is left for the answer. */
+  /** Time left until the deadline of the answer. */
   readonly leftMs: Millis;
   readonly customer: CustomerId | null;
-  /** Urgency at the endpoint, 0 first; null for a service without engines. */
+  /** Priority at the endpoint, 0 is the most urgent; null for a service without engines. */
   readonly rank: number | null;
-  /** Last event that the caller has; null to begin with the first one. */
+  /** Id of the last event that the caller received; null to start with the first event. */
   readonly lastEventId: string | null;
-  /** Endpoint that is to keep a growing copy of the generation. */
+  /** Endpoint to which the generation's memory is replicated while it runs; null for none. */
   readonly backup: EndpointAddress | null;
-  /** Copy of the generation's memory to go on from. */
+  /** Copy of the generation's memory from which to resume; null to start anew. */
   readonly copy: CopyName | null;
 }
 
-/** Name of a copy of a generation's memory. */
+/** Reference to a copy of a generation's memory. */
 export type CopyName =
-  /** Kept at an endpoint under the request's own id. */
+  /** Replica that an endpoint keeps under the request's id. */
   | { readonly kind: 'backup'; readonly holder: EndpointAddress }
-  /** Made by a transfer, and named by its source. */
+  /** Copy made by a transfer, under a handle that its source assigned. */
   | { readonly kind: 'transfer'; readonly source: EndpointAddress; readonly handle: string };
 
-/** How an order to copy a running generation to another endpoint ended. */
+/** Result of an order to copy a running generation to another endpoint. */
 export type TransferResult =
-  /** The copy is complete up to a number of events. */
+  /** The copy contains the given number of events. */
   | { readonly kind: 'copied'; readonly handle: string; readonly events: number }
-  /** The target had no room; with a handle, the source stopped and keeps the memory. */
+  /**
+   * The target had no capacity. With a handle, the source has stopped the generation and keeps its
+   * memory.
+   */
   | { readonly kind: 'no-room'; readonly handle: string | null }
-  /** The source runs no such request. */
+  /** The source does not run the request. */
   | { readonly kind: 'not-running' }
   | { readonly kind: 'failed'; readonly message: string };
 
-/** One order to copy a generation. */
+/** Order to copy a generation to another endpoint. */
 export interface TransferOrder {
   readonly requestId: string;
   readonly source: EndpointAddress;
   readonly target: EndpointAddress;
-  /** `copy`: the source runs on; `stop`: it stops first, and the target goes on. */
+  /** `copy`: the source keeps running; `stop`: the source stops first, so that the target resumes. */
   readonly mode: 'copy' | 'stop';
 }
 
-/** What an engine says of itself. */
+/** State that an engine reports about itself. */
 export interface EngineReport {
   readonly phase: 'ready' | 'leaving';
 }
 
-/** Orders to engines. */
+/** Control commands to engines. */
 export interface EngineControl {
   readonly readReport: (address: EndpointAddress) => Promise<EngineReport | null>;
   readonly transfer: (order: TransferOrder) => Promise<TransferResult>;
-  /** Frees a copy. One that cannot be freed lapses by itself, so nothing waits for the answer. */
+  /** Frees a copy. Nothing waits for the result, since a copy that is not freed expires. */
   readonly releaseCopy: (address: EndpointAddress, handle: string) => Promise<void>;
 }
 
 /** Head of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
-  /** Names and values in turn that the caller gets, without those of one connection. */
+  /** Alternating names and values to forward, without headers that concern one connection only. */
   readonly headers: readonly string[];
-  /** Id of the request to which the endpoint says it belongs; null without one. */
+  /** Id of the request that the answer names; null without one. */
   readonly requestId: string | null;
   readonly signature: 'signed' | 'unsigned';
-  /** Whether the endpoint states that it did not run the request. */
+  /** `not-run` when the endpoint states that it did not run the request. */
   readonly proof: 'not-run' | 'none';
   readonly encoding: 'plain' | 'encoded';
-  /** Whether the answer states its end, or ends with its connection. */
+  /** Whether the answer has a length or chunks, or ends when its connection closes. */
   readonly framing: 'framed' | 'until-close';
 }
 
 /** Head of a caller's request. */
 export type CallerHead = Omit<ForwardRequest, 'key' | 'body' | 'receivedAt'>;
 
-/** Translation of heads between the product and what callers and endpoints speak. */
+/** Translates heads between the daemon's types and the HTTP headers of callers and endpoints. */
 export interface HeadCodec {
   readonly decodeCaller: (
     method: string,
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -54,19 +54,19 @@
 import type { ChildFailure } from '../core/supervision/types.js';
 import type { ForwardRequest } from '../decisions/forwarding/types.js';
 
-/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+/** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
 
-/** What a platform provides to a gateway daemon. */
+/** Adapters to the platform on which a gateway daemon runs. */
 export interface GatewayPorts {
   readonly codec: HeadCodec;
   readonly feeds: FeedReader;
   readonly engines: EngineControl;
 }
 
-/** Everything that one gateway daemon is made of. */
+/** Parts of a gateway daemon, by their names in the container. */
 export interface GatewayCradle {
   readonly settings: GatewaySettings;
   readonly ports: GatewayPorts;
@@ -74,7 +74,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly incarnation: string;
-  /** Replaced when the settings file changes. */
+  /** Live settings; `current` is replaced when the settings file changes. */
   readonly live: { current: LiveSettings };
   readonly states: GatewayStates;
   readonly events: EventLog;
@@ -241,9 +241,9 @@
 /**
  * Wires the parts of a gateway daemon.
  *
- * @param settings - checked settings
- * @param ports - what the platform provides
- * @param onEnd - called when the daemon wants its process to end
+ * @param settings - validated settings
+ * @param ports - adapters to the platform
+ * @param onEnd - called when the process of the daemon should end
  * @returns the container
  */
 export const wireGateway = (
@@ -262,7 +262,8 @@
       createRandomSource(Math.floor(Math.random() * SEED_RANGE)),
     ).singleton(),
     incarnation: asFunction(createId).singleton(),
-    // Each child publishes its state before anything reads it: they start in the declared order.
+    // Empty at first: the children start in the declared order, and each publishes its state before
+    // anything reads it.
     states: asValue({} as GatewayStates),
     events: asFunction(buildEvents).singleton(),
     metrics: asFunction(createDeferredMetrics).singleton(),
