Reword the comments of the gateway's feeds, endpoints and frontend

"A price for each registration", "a connection that fell silent shows only after that" and "leads the daemon out" are long polls, staleness, drains and limits now. Test titles name the result; the comments above name the failure. The texts of refusals for full buffers and a full event queue say what is full.

--- a/packages/gateway/configuration/configuration.ts
+++ b/packages/gateway/configuration/configuration.ts
@@ -4,16 +4,16 @@
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
 import type { ConfigurationEvent, GatewayEffect } from '../events.js';
 
-/** The configuration in force; null before the first one was read. */
+/** Routing table of the newest configuration; null until the first configuration is loaded. */
 export interface ConfigurationState {
   readonly table: RoutingTable | null;
 }
 
 /**
- * Creates the child that keeps the newest configuration. A lower version never replaces a higher
- * one, whatever order the records come in.
+ * Creates the decision logic of the `configuration` child, which keeps the newest configuration. A
+ * lower version never replaces a higher one, in whatever order the records arrive.
  *
- * @returns the decisions of the child
+ * @returns the decision logic
  */
 export const createConfigurationLogic = (): ChildLogic<
   ConfigurationState,
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -53,7 +53,7 @@
   },
 });
 
-/** Sends one attempt to a server that is scripted on its socket, and collects what is posted. */
+/** Sends one attempt to a server that runs `script` on its socket; resolves to the posted events. */
 const runAttempt = async (
   t: ExecutionContext,
   script: (socket: Socket) => void,
@@ -86,8 +86,9 @@
 
 const NO_LENGTH = 'HTTP/1.1 200 OK\r\n\r\n';
 
-// Guards against an answer without a length that was reset and is passed on as complete.
-test('an answer without a length that is reset is broken', async (t) => {
+// Guards against a truncated answer that counts as complete: without a length, only the reset of the
+// connection shows that bytes are missing.
+test('an answer without a length fails when its connection is reset', async (t) => {
   const events = await runAttempt(t, (socket) => {
     socket.write(`${NO_LENGTH}part`);
     setTimeout(() => socket.resetAndDestroy(), 30);
@@ -97,8 +98,9 @@
   t.is(last?.kind === 'attempt-failed' ? last.failure.kind : '', 'broken');
 });
 
-// Guards against the loss of an answer that ends with its connection, as the protocol allows.
-test('an answer without a length ends with its connection', async (t) => {
+// Guards against the loss of a valid answer: HTTP lets an answer without a length end when its
+// connection closes.
+test('an answer without a length is complete when its connection closes', async (t) => {
   const events = await runAttempt(t, (socket) => {
     socket.end(`${NO_LENGTH}whole`);
   });
@@ -106,8 +108,8 @@
   t.is(collectBody(events), 'whole');
 });
 
-// Guards against bytes after the answer that end a request which was answered in full.
-test('bytes after a complete answer are left out', async (t) => {
+// Guards against a complete answer that is reported as failed because of the bytes after it.
+test('bytes after a complete answer are ignored', async (t) => {
   const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab';
   const events = await runAttempt(t, (socket) => {
     socket.end(`${whole}${whole}`);
@@ -116,16 +118,16 @@
   t.is(collectBody(events), 'ab');
 });
 
-// Guards against a truncated answer that is taken for a complete one.
-test('an answer shorter than its length is broken', async (t) => {
+// Guards against a truncated answer that counts as complete.
+test('an answer shorter than its length fails', async (t) => {
   const events = await runAttempt(t, (socket) => {
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab');
   });
   t.is(events.at(-1)?.kind, 'attempt-failed');
 });
 
-// Guards against bytes that are no answer being counted as a connection that broke.
-test('bytes that are no answer are garbled', async (t) => {
+// Guards against invalid bytes that are reported as a broken connection.
+test('bytes that are not HTTP are reported as garbled', async (t) => {
   const events = await runAttempt(t, (socket) => {
     socket.end('\x00\x01 this is no answer\r\n\r\n');
   });
@@ -133,8 +135,8 @@
   t.is(last?.kind === 'attempt-failed' ? last.failure.kind : '', 'garbled');
 });
 
-// Guards against a request that never left being taken for one that may have run.
-test('a refused connection is unreachable', async (t) => {
+// Guards against a request that was never sent but counts as one that may have run.
+test('a refused connection is reported as unreachable', async (t) => {
   const events: RequestsEvent[] = [];
   const free = createServer();
   const port = await new Promise<number>((resolve) => {
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -4,10 +4,10 @@
 import type { AttemptFailure, AttemptOrder, RequestsEvent } from '../events.js';
 import type { HeadCodec } from '../types.js';
 
-/** Sends attempts to endpoints; each has a connection of its own. */
+/** Sends attempts to endpoints, each on its own connection. */
 export interface EndpointClient {
   readonly open: (order: AttemptOrder) => void;
-  /** Ends the connection of an attempt, which makes the endpoint stop. */
+  /** Closes the connection of an attempt, which cancels the request at the endpoint. */
   readonly cancel: (key: number, attempt: number) => void;
   readonly close: () => void;
 }
@@ -19,11 +19,11 @@
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
 
 /**
- * Creates the client of the endpoints. A connection carries one request only, so that a late or
- * second answer can never be taken for that of the next request.
+ * Creates the client of the endpoints. Connections are not reused, so that a late or second answer
+ * is never taken for the answer to the next request.
  *
- * @param codec - translation of heads
- * @param post - receives what happens to the attempts
+ * @param codec - encodes the heads of requests and decodes the heads of answers
+ * @param post - receives the events of the attempts
  * @returns the client
  */
 export const createEndpointClient = (
@@ -48,7 +48,7 @@
     };
 
     const fail = (error: Error): void => {
-      // The rest of a complete answer is still on its way through the stream.
+      // The answer is complete, and its `end` event follows once the buffered data has been read.
       if (answer?.complete === true) return;
       const kind: AttemptFailure['kind'] =
         phase === 'connecting' ? 'unreachable' : isParseError(error) ? 'garbled' : 'broken';
@@ -66,7 +66,7 @@
     });
     running.set(attemptId, outgoing);
     const connectTimer = setTimeout(() => {
-      outgoing.destroy(new Error('the connection was not made in time'));
+      outgoing.destroy(new Error('the connection was not established in time'));
     }, CONNECT_TIMEOUT_MS);
 
     outgoing.on('socket', (socket) => {
@@ -92,11 +92,12 @@
       });
       incoming.on('error', fail);
       incoming.on('close', () => {
-        if (!incoming.complete) fail(new Error('the connection ended before the answer'));
+        if (!incoming.complete)
+          fail(new Error('the connection closed before the answer was complete'));
       });
     });
     outgoing.on('close', () => {
-      if (answer === null) fail(new Error('the connection ended without an answer'));
+      if (answer === null) fail(new Error('the connection closed without an answer'));
     });
     outgoing.end(request.body);
   };
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -2,44 +2,47 @@
 import type { Millis } from '../../core/clock.js';
 
 /**
- * Time between two reads of all daemons together. Each daemon's own reads are as many times apart as
- * there are daemons, so that the store is not read more often by a larger fleet: what one daemon
- * learns of leaving endpoints it tells the others.
+ * Target interval between reads of a feed by all daemons together. A daemon multiplies it by the
+ * number of daemons, so that the load on the store does not grow with the fleet. A daemon that
+ * learns of a leaving endpoint reports it to the others.
  */
 export const READ_SPACING_MS: Readonly<Record<FeedName, Millis>> = {
   operator: 350,
   registrations: 110,
 };
 
-/** Shortest time for which the store may hold a read back. */
+/** Minimum of the time for which the store may hold a long poll of the operators' records. */
 export const MIN_FEED_WAIT_MS = 1_000;
 
-/** How long the store may hold a read of registrations back; endpoints write all the time. */
+/** Time for which the store may hold a long poll of registrations, which endpoints keep renewing. */
 export const REGISTRATIONS_WAIT_MS = 1_000;
 
-/** Pause after a read that brought configurations or orders. */
+/** Pause after a read that returned records of operators. */
 export const OPERATOR_PAUSE_MS = 20;
 
-/** Shortest pause after a read that brought registrations, which come about once a second each. */
+/**
+ * Minimum pause after a read that returned registrations. Each endpoint renews its registration
+ * about once a second.
+ */
 export const MIN_REGISTRATIONS_PAUSE_MS = 350;
 
-/** Part of the time to learn that an endpoint leaves which a pause may take. */
+/** Maximum share of `StalenessLimits.leavingMs` that a pause may take. */
 export const MAX_PAUSE_SHARE = 0.3;
 
 /**
- * Time for an overdue answer and the next read, on top of a wait on a silent connection: all of it has
- * to fit into the time after a disturbance within which bounds do not hold.
+ * Time for detecting an overdue answer and for the next read, after a long poll on a connection that
+ * went silent. The poll and this time together have to fit into `StalenessLimits.outageMs`.
  */
 export const SILENT_READ_MARGIN_MS = 1_500;
 
 /** Pause after a failed read. */
 export const FEED_RETRY_MS = 250;
 
-/** Time after the store's return within which lapsed registrations are back. */
+/** Time after the store's recovery within which expired registrations are renewed. */
 export const REREGISTRATION_GRACE_MS = 2_500;
 
 /**
- * Silence of the registrations, beyond the pause between reads, after which the store may be away:
- * the endpoints together write several times in it.
+ * Time without an answer, beyond the pause between reads, after which the store may be unavailable.
+ * The endpoints together renew their registrations several times within it.
  */
 export const FEED_SILENCE_MS = 400;
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -35,7 +35,9 @@
     effect.kind === 'post' && effect.event.kind === 'registrations-changed' ? [effect.event] : [],
   );
 
-test('a daemon loads the newest records and then follows', (t) => {
+// Guards against a daemon that starts without the existing records, or that loads them again and
+// again.
+test('a daemon loads the newest records and then follows the feed', (t) => {
   const harness = createHarness();
   t.deepEqual(harness.started, [
     { kind: 'load-feed', feed: 'operator' },
@@ -53,8 +55,8 @@
   t.like(quiet[0], { kind: 'read-feed', position: 9 });
 });
 
-// Guards against a daemon that goes on with records that the store no longer has.
-test('expired records are loaded again', (t) => {
+// Guards against a daemon that keeps records which were removed while it could not follow the feed.
+test('a feed is loaded again when its position has expired', (t) => {
   const harness = createHarness();
   harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
   const effects = harness.answer('registrations', { kind: 'expired' });
@@ -63,8 +65,9 @@
   t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: { kind: 'certain' } });
 });
 
-// Guards against endpoints that are given up because their entries lapsed with the store.
-test('removals after an outage are doubtful for a while', (t) => {
+// Guards against running endpoints that are dropped because their registrations expired in an outage
+// of the store.
+test('removals are uncertain for a grace period after an outage', (t) => {
   const harness = createHarness();
   harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
   const lost = harness.answer('registrations', FAILED);
@@ -79,8 +82,9 @@
   t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
 });
 
-// Guards against notices that nobody sees because the store fell silent without an error.
-test('a read that waits although endpoints write all the time is suspicious', (t) => {
+// Guards against missed notices of leaving endpoints when the store stops answering without an
+// error.
+test('the registrations are stale when a read stays unanswered', (t) => {
   const harness = createHarness();
   const check = (): boolean =>
     isFeedStale(harness.getState().registrations, harness.clock.now(), buildPace(4));
@@ -92,7 +96,7 @@
   t.true(check());
 });
 
-// Guards against a price for each registration: they come about once a second from each endpoint.
+// Guards against one read for each registration: each endpoint renews its own about once a second.
 test('reads of registrations pause after records', (t) => {
   const harness = createHarness();
   harness.answer('registrations', { kind: 'loaded', changes: [], position: 0 });
@@ -104,9 +108,9 @@
   t.true(effects.some((effect) => effect.kind === 'schedule' && effect.delayMs > 100));
 });
 
-// Guards against reads that grow with the number of daemons, and against leaving endpoints that a
-// daemon learns too late when no other tells it.
-test('many daemons read more slowly, within bounds', (t) => {
+// Guards against a read rate that grows with the number of daemons, and against pauses so long that
+// a daemon learns too late of a leaving endpoint that no other daemon reports.
+test('the pause between reads grows with the number of daemons, within limits', (t) => {
   const delays = [1, 4, 16, 400].map((daemons) => {
     const harness = createHarness(daemons);
     const result: FeedResult = { kind: 'loaded', changes: [REGISTERED], position: 4 };
@@ -116,8 +120,9 @@
   t.deepEqual(delays, [350, 440, 600, 600]);
 });
 
-// Guards against a configuration that is in force too late because a connection fell silent.
-test('reads of orders wait longer with many daemons, within bounds', (t) => {
+// Guards against a configuration that is applied too late because a connection went silent: that is
+// detected only at the end of a long poll.
+test('long polls of operator records grow with the number of daemons, within limits', (t) => {
   const waits = [1, 4, 400].map((daemons) => {
     const harness = createHarness(daemons);
     const result: FeedResult = { kind: 'loaded', changes: [], position: 4 };
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -24,7 +24,7 @@
   RemovalCertainty,
 } from '../types.js';
 
-/** Where this daemon is in one stream of records. */
+/** Progress of this daemon in one feed. */
 export type FeedState =
   | { readonly kind: 'loading'; readonly failingSince: Millis | null }
   | {
@@ -32,7 +32,7 @@
       readonly position: number;
       readonly failingSince: Millis | null;
       readonly readAt: Millis;
-      /** Removals until then may only mean that the store was away. */
+      /** Removals read before this instant may only mean that the store was unavailable. */
       readonly uncertainUntil: Millis;
     };
 
@@ -45,9 +45,9 @@
   readonly getPacingInputs: () => PacingInputs;
 }
 
-/** What the pace of the reads follows from. */
+/** Values from which the intervals between reads are computed. */
 export interface PacingInputs {
-  /** Daemons that read the same records, this one included. */
+  /** Number of daemons that read the same feeds, including this one. */
   readonly daemons: number;
   readonly stalenessLimits: StalenessLimits;
 }
@@ -62,7 +62,10 @@
 const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
   Math.max(min, Math.min(value, max));
 
-/** How long the store may hold a read back; a connection that fell silent shows only after that. */
+/**
+ * Computes the time for which the store may hold a long poll. A connection that went silent is
+ * detected only after it.
+ */
 const computeWait = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
@@ -78,7 +81,7 @@
   }
 };
 
-/** Pause after a read that brought records. */
+/** Computes the pause after a read that returned records. */
 const computePause = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
@@ -100,13 +103,14 @@
     : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pacing) };
 
 /**
- * Tells whether a feed may hide what happened: its last read failed, or has been waiting although
- * endpoints write all the time. An outage in which the store falls silent shows here first.
+ * Reports whether the feed of registrations may be stale: its last read failed, or is unanswered
+ * although endpoints renew their registrations all the time. The second case detects a store that
+ * stops answering without an error.
  *
  * @param state - state of the feed of registrations
  * @param now - current instant
- * @param pacing - what the pauses between reads follow from
- * @returns whether the records may be behind
+ * @param pacing - values from which the pauses between reads are computed
+ * @returns true when the known registrations may be out of date
  */
 export const isFeedStale = (state: FeedState, now: Millis, pacing: PacingInputs): boolean =>
   state.kind === 'loading' ||
@@ -188,7 +192,7 @@
         },
       ];
 
-/** Returns until when removals are doubtful, after a read that succeeded. */
+/** Computes the instant until which removals are uncertain, after a successful read. */
 const computeUncertainUntil = (state: FeedState, now: Millis): Millis => {
   if (state.failingSince !== null) return now + REREGISTRATION_GRACE_MS;
   return state.kind === 'following' ? state.uncertainUntil : 0;
@@ -271,11 +275,12 @@
 };
 
 /**
- * Creates the child that follows the records of operators and endpoints in the platform's store. It
- * loads the newest records once and then reads on from their end.
+ * Creates the decision logic of the `feeds` child, which follows the records of operators and
+ * endpoints in the platform's store. It loads the newest record of each key once and then reads the
+ * records after them.
  *
- * @param inputs - time of the reads and number of the readers
- * @returns the decisions of the child
+ * @param inputs - clock, and the values from which the intervals between reads are computed
+ * @returns the decision logic
  */
 export const createFeedsLogic = ({
   clock,
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -37,7 +37,7 @@
   | { readonly kind: 'no-room' }
   | { readonly kind: 'broken' };
 
-/** Bytes of bodies that are held now, over all requests of the server. */
+/** Buffered bytes of the bodies that all requests of the server are receiving, and the size limit. */
 interface BodyBuffers {
   bufferedBytes: number;
   maxBodyBytes: number;
@@ -69,21 +69,26 @@
     incoming.on('close', () => {
       settle({ kind: 'broken' });
     });
-    // The end of the connection is told by `close`; without a listener the error ends the process.
+    // `close` handles the end of the connection; an error without a listener would end the process.
     incoming.on('error', () => undefined);
   });
 
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 const BODY_TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
-const BUFFERS_FULL = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
-const QUEUE_FULL = createFailure('not-run', 'overloaded', 'too many events wait', 200);
+const BUFFERS_FULL = createFailure(
+  'not-run',
+  'overloaded',
+  'the buffers for request bodies are full',
+  200,
+);
+const QUEUE_FULL = createFailure('not-run', 'overloaded', 'the event queue is full', 200);
 
 /**
- * Creates the server for callers. It reads each request whole before it hands it on, since a body
- * that may be sent to a second endpoint must be at hand.
+ * Creates the server for callers. It reads the whole body before it posts a request, since a retry
+ * sends the body again.
  *
- * @param options - codec, clock and receivers
+ * @param options - codec, clock, responders and event handlers
  * @returns the server, not yet listening
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
@@ -129,7 +134,7 @@
     },
   );
   server.on('clientError', (error, socket) => {
-    // A connection that broke is told by the end of its request; only bytes can be unreadable.
+    // Reports only parse errors; a broken connection is handled by the `close` of its request.
     const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
     if (isUnreadable) responders.reportUnreadable(error);
     if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -21,8 +21,9 @@
 
 const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
 
-// Guards against an end before the balancer has noticed, which cuts off new connections.
-test('an idle daemon stays until the balancer has asked twice', (t) => {
+// Guards against a daemon that ends before the load balancer has noticed its drain, which breaks new
+// connections.
+test('an idle daemon keeps running until the load balancer has probed it twice', (t) => {
   const harness = createHarness({ count: 0 });
   t.true(harness.post({ to: 'frontend', kind: 'drain-started' }).includes('log'));
   harness.clock.advance(MIN_DRAIN_MS - 10);
@@ -33,8 +34,8 @@
   t.deepEqual(harness.post(CHECKED), ['end-process']);
 });
 
-// Guards against a daemon that is killed with requests in progress before it has said so.
-test('a busy daemon ends before its grace period does', (t) => {
+// Guards against a daemon that is killed before it has reported the requests in progress.
+test('a busy daemon stops before its grace period ends', (t) => {
   const harness = createHarness({ count: 3 });
   harness.post({ to: 'frontend', kind: 'drain-started' });
   harness.clock.advance(8_000 - GRACE_MARGIN_MS - 10);
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -7,7 +7,7 @@
 import type { FrontendEvent, GatewayEffect } from '../events.js';
 import type { DrainTimes } from '../requests/types.js';
 
-/** Whether the daemon stays or is on its way out. */
+/** Whether the daemon accepts requests or is draining. */
 export type GateState =
   | { readonly phase: 'accepting' }
   | { readonly phase: 'draining'; readonly drainedAt: Millis }
@@ -15,18 +15,18 @@
 
 export interface GateInputs {
   readonly clock: Clock;
-  /** Time from the order to stop until the process is killed. */
+  /** Returns the time from the stop signal until the platform kills the process. */
   readonly getGraceMs: () => Millis;
   readonly countOpen: () => number;
 }
 
 /**
- * Tells where a daemon is in its drain.
+ * Computes the elapsed and remaining time of the drain.
  *
  * @param state - phase of the daemon
  * @param now - current instant
- * @param graceMs - time from the order to stop until the process is killed
- * @returns the times, or null while the daemon stays
+ * @param graceMs - time from the stop signal until the platform kills the process
+ * @returns the times, or null while the daemon is not draining
  */
 export const computeDrain = (state: GateState, now: Millis, graceMs: Millis): DrainTimes | null => {
   if (state.phase === 'accepting') return null;
@@ -67,11 +67,11 @@
 };
 
 /**
- * Creates the child that lets requests in and leads the daemon out. While it drains it still serves
- * what comes on connections that callers keep open.
+ * Creates the decision logic of the `frontend` child, which accepts requests and drains the daemon.
+ * A draining daemon still handles requests that arrive on kept-alive connections.
  *
- * @param inputs - clock, grace period and open requests
- * @returns the decisions of the child
+ * @param inputs - clock, grace period and number of open requests
+ * @returns the decision logic
  */
 export const createGateLogic = (
   inputs: GateInputs,
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -8,29 +8,29 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
-/** Open answers to callers, by the number of the request. */
+/** Open answers to callers, by the `key` of the request. */
 export interface Responders {
   readonly open: (key: number, requestId: string, response: ServerResponse) => void;
   readonly has: (key: number) => boolean;
-  /** Drops an answer whose caller is gone. */
+  /** Removes the answer of a caller that disconnected. */
   readonly remove: (key: number) => void;
   readonly startAnswer: (key: number, head: AnswerHead) => void;
-  /** Writes bytes; `too-slow` when the caller does not read them. */
+  /** Writes bytes; returns `too-slow` when more than `MAX_CALLER_BACKLOG_BYTES` are unread. */
   readonly writeAnswer: (key: number, bytes: Uint8Array) => 'written' | 'too-slow';
   readonly endAnswer: (key: number) => void;
   readonly sendWhole: (key: number, head: AnswerHead, body: Uint8Array) => void;
   readonly refuse: (key: number, failure: Failure) => void;
-  /** Ends the connection without completing the answer. */
+  /** Closes the connection without completing the answer. */
   readonly breakAnswer: (key: number) => void;
   readonly refuseAll: (failure: Failure) => void;
-  /** Marks all further answers as the last of their connections. */
+  /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
   readonly reportUnreadable: (error: Error) => void;
 }
 
 /**
- * Lets an answer end with its connection. The endpoint sent it that way, so nobody can tell
- * whether it is complete, and a length of ours would claim that it is.
+ * Delimits an answer by the close of its connection, as the endpoint did. Whether such an answer is
+ * complete is unknown, and chunked framing or a length would state that it is.
  */
 const clearFraming = (response: ServerResponse): void => {
   response.shouldKeepAlive = false;
@@ -45,7 +45,7 @@
 /**
  * Creates the table of open answers.
  *
- * @param onUnreadable - receives errors of connections whose bytes are no request
+ * @param onUnreadable - receives errors of connections whose bytes are not a valid request
  * @returns the empty table
  */
 export const createResponders = (onUnreadable: (error: Error) => void): Responders => {
--- a/packages/gateway/frontend/statusServer.ts
+++ b/packages/gateway/frontend/statusServer.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
 
-/** A page of the daemon itself. */
+/** A page about the daemon itself, such as its readiness. */
 export interface StatusPage {
   readonly status: number;
   readonly contentType: string;
@@ -14,10 +14,10 @@
 }
 
 /**
- * Creates a server for pages of the daemon itself, such as readiness and metrics.
+ * Creates a server for pages about the daemon itself, such as its readiness and metrics.
  *
- * @param getPage - page of a path, or null when there is none
- * @param onError - receives a page that could not be built
+ * @param getPage - returns the page of a path, or null when there is none
+ * @param onError - receives the error when a page cannot be built
  * @returns the server, not yet listening
  */
 export const createStatusServer = (
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -4,15 +4,16 @@
 import type { GatewayEffect, MovesEvent } from '../events.js';
 import type { MoveOrder } from '../types.js';
 
-/** Orders to move services to other versions. */
+/** Current orders to move services to other versions. */
 export interface MovesState {
   readonly orders: ReadonlyMap<ServiceName, MoveOrder>;
 }
 
 /**
- * Creates the child that keeps the orders to move services to other versions.
+ * Creates the decision logic of the `moves` child, which keeps the orders to move services to other
+ * versions.
  *
- * @returns the decisions of the child
+ * @returns the decision logic
  */
 export const createMovesLogic = (): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
   init: () => toStep<MovesState, GatewayEffect>({ orders: new Map() }),
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -27,7 +27,7 @@
 const REQUEST_STATE_LOST = createFailure(
   'may-have-run',
   'internal',
-  'the daemon lost the state of the request',
+  'the gateway daemon lost the state of the request',
 );
 
 const postFeedResult = (
