Reword the comments of the gateway's membership and peers

"Learnt to leave", "as they were last heard", "doubtful" and "an earlier life" are reports, staleness, uncertain removals and incarnations now. The collections and limits say what they hold and when entries expire. Test titles name the result; the comments above name the failure.

--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -51,14 +51,14 @@
   listCandidates('writer', sources, now);
 
 // Guards against new work in a data centre that operators took out.
-test('endpoints of a data centre that is out are left out', (t) => {
+test('endpoints in a data centre that was taken out are not candidates', (t) => {
   const records = [buildEndpoint('e-1'), buildEndpoint('e-2', { dataCentre: 'dc-b' })];
   const ids = list(build(records, ['dc-a'])).map(({ record }) => record.id);
   t.deepEqual(ids, ['e-2']);
 });
 
-// Guards against a version that nobody judges and that gets a full share of the traffic.
-test('endpoints of a version that a service is to move to get nothing yet', (t) => {
+// Guards against a full share of the traffic for a version whose failures are not evaluated.
+test('endpoints of the target version of a move are not candidates', (t) => {
   const sources = build([buildEndpoint('e-1'), buildEndpoint('e-2', { version: 'v2' })]);
   sources.moves.orders.set('writer', {
     service: 'writer',
@@ -72,15 +72,16 @@
   );
 });
 
-// Guards against daemons that all choose the same endpoint, and against loads of a peer that is gone.
-test('the load of peers counts while it is fresh', (t) => {
+// Guards against daemons that all choose the same endpoint, and against the load of a peer that
+// stopped.
+test('the load of a peer counts until it expires', (t) => {
   const sources = build([buildEndpoint('e-1')]);
   t.deepEqual(list(sources)[0]?.load, { requests: 3, tokens: 900, waitingTokens: 100 });
   t.deepEqual(list(sources, 9_000)[0]?.load, { requests: 0, tokens: 0, waitingTokens: 0 });
 });
 
-// Guards against a cold endpoint that counts as warm.
-test('an endpoint is cold for as long as it said', (t) => {
+// Guards against a cold endpoint that receives the load of a warm one.
+test('an endpoint counts as cold for the time in its registration', (t) => {
   const sources = build([buildEndpoint('e-1', { coldForMs: 500 })]);
   t.is(list(sources)[0]?.coldHeadroom, 0);
   t.is(list(sources, 1_600)[0]?.coldHeadroom, null);
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -8,7 +8,7 @@
 import type { MovesState } from '../moves/moves.js';
 import type { RequestsState } from '../requests/types.js';
 
-/** States from which the candidates of a placement are made. */
+/** States from which the candidates of a placement are built. */
 export interface CandidateSources {
   readonly membership: MembershipState;
   readonly peers: PeersState;
@@ -18,11 +18,12 @@
 
 /**
  * Lists the endpoints of a service for a placement, without those in data centres that operators
- * took out. While a service is to move to another version, the endpoints of that version get
- * nothing: without evidence from all daemons nobody can tell a bad version in time.
+ * took out. While there is an order to move a service to another version, the endpoints of that
+ * version receive no requests: a bad version cannot be detected in time without evidence from all
+ * daemons.
  *
  * @param service - service of the request
- * @param sources - states of membership, peers and requests
+ * @param sources - states of membership, peers, requests and moves
  * @param now - current instant
  * @returns the candidates
  */
--- a/packages/gateway/membership/constants.ts
+++ b/packages/gateway/membership/constants.ts
@@ -1,11 +1,11 @@
-/** Interval at which engines are asked for their state while the store is away. */
+/** Interval at which engines are polled for their state while the registrations may be stale. */
 export const REPORT_POLL_INTERVAL_MS = 300;
 
-/** How long a removal is held back while it may only mean that the store was away. */
+/** Delay of an uncertain removal, in which the endpoint may renew its registration. */
 export const UNCERTAIN_REMOVAL_DELAY_MS = 2_500;
 
-/** How long a report that an engine leaves goes before a registration that says otherwise. */
+/** Time for which a report that an engine leaves overrides a registration without that state. */
 export const LEAVING_REPORT_VALIDITY_MS = 2_500;
 
-/** Removed endpoints that are remembered, so that other daemons are told of them. */
+/** Limit of the removed endpoints that are kept for the reports to other daemons. */
 export const MAX_REMOVED_ENDPOINTS = 64;
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -33,8 +33,8 @@
 const hasLeavingNotice = (effects: readonly GatewayEffect[]): boolean =>
   effects.some((effect) => effect.kind === 'post' && effect.event.kind === 'endpoint-leaving');
 
-// Guards against generations that stay on an endpoint which leaves without saying so.
-test('a leaving and a removed endpoint are announced', (t) => {
+// Guards against generations that stay on an endpoint whose leaving or removal is not announced.
+test('leaving and removed endpoints are announced', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   t.true(hasLeavingNotice(harness.change([register('e-1', { phase: 'leaving' })])));
@@ -42,8 +42,8 @@
   t.deepEqual(harness.list(), ['e-1']);
 });
 
-// Guards against endpoints that are lost with an outage of the store though they live.
-test('a doubtful removal waits for the endpoint to come back', (t) => {
+// Guards against running endpoints that are dropped because of an outage of the store.
+test('an uncertain removal is delayed and cancelled by a new registration', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
@@ -58,8 +58,8 @@
   t.deepEqual(harness.list(), ['e-2']);
 });
 
-// Guards against generations that stay on an endpoint which was back after an outage of the store and
-// then left: its removal is no lapse.
+// Guards against generations that stay on an endpoint which renewed its registration after an outage
+// of the store and then stopped: that removal was not caused by the outage.
 test('the removal of a registration that was renewed after the outage is certain', (t) => {
   const harness = createHarness();
   harness.clock.advance(500);
@@ -70,9 +70,9 @@
   t.deepEqual(harness.list(), []);
 });
 
-// Guards against daemons that send to an endpoint which another knows to be gone: each reads on its
-// own, and more slowly the more of them there are.
-test('an endpoint that is gone is told to the other daemons', (t) => {
+// Guards against daemons that send requests to an endpoint which another daemon knows to be removed.
+// Each daemon reads the feed on its own, and less often the more daemons there are.
+test('a removed endpoint is reported to the other daemons', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
   const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
@@ -83,8 +83,8 @@
   t.deepEqual(listLeaving(harness.getState(), 1_001), []);
 });
 
-// Guards against generations that stay on an endpoint whose entry did not come back.
-test('an endpoint that is not back in time is announced as leaving', (t) => {
+// Guards against generations that stay on an endpoint that did not renew its registration.
+test('an endpoint without a new registration is removed after the delay', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
   const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
@@ -93,9 +93,9 @@
   t.true(hasLeavingNotice(harness.post(due)));
 });
 
-// Guards against new work for an engine that leaves: a registration written before its report is
-// read after it.
-test('an older registration does not take a report back', (t) => {
+// Guards against new work for a leaving engine: a registration may be read after the engine's report
+// although it was written before it.
+test('an older registration does not override a report of leaving', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
   const report = { phase: 'leaving' } as const;
@@ -107,39 +107,40 @@
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
 });
 
-// Guards against endpoints that stay for ever when their removal was not read.
-test('a load replaces what was known', (t) => {
+// Guards against endpoints that are kept forever because their removal was not read.
+test('a load removes endpoints that are not in it', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   harness.change([register('e-2')], 'all');
   t.deepEqual(harness.list(), ['e-2']);
 });
 
-// Guards against faults of an earlier life that are held against a new one under the same id.
-test('an endpoint that starts again under its id begins anew', (t) => {
+// Guards against failures of an earlier incarnation that count against a new one with the same id.
+test('the health of an endpoint is reset when it restarts under the same id', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
-  const sign = { kind: 'unreachable' } as const;
-  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign });
+  const unreachable = { kind: 'unreachable' } as const;
+  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign: unreachable });
   t.true((harness.getState().endpoints.get('e-1')?.health.avoidUntil ?? 0) > 1_000);
   harness.change([register('e-1', { startedAt: 2 })]);
   t.is(harness.getState().endpoints.get('e-1')?.health.avoidUntil, 0);
 });
 
-// Guards against an engine whose notice is missed because the store is away.
-test('a report of an engine tells that it leaves', (t) => {
+// Guards against an engine whose notice of leaving is missed because the store is unavailable.
+test('a polled engine that reports leaving is announced', (t) => {
   const harness = createHarness(['e-1']);
   harness.change([register('e-1')]);
-  const asked = harness.post({ to: 'membership', kind: 'reports-due' });
-  t.true(asked.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
+  const polls = harness.post({ to: 'membership', kind: 'reports-due' });
+  t.true(polls.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
   const report = { phase: 'leaving' } as const;
   const effects = harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
   t.true(hasLeavingNotice(effects));
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
 
-// Guards against a data centre that stays out after operators took it back while the store was away.
-test('a load also tells which data centres are back', (t) => {
+// Guards against a data centre that stays out although operators took it back in while the store was
+// unavailable.
+test('a load takes back in the data centres that it does not list as out', (t) => {
   const harness = createHarness();
   const out: RecordChange = { kind: 'data-centre-out', dataCentre: 'dc-a' };
   harness.post({
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -18,32 +18,36 @@
 import type { GatewayEffect, MembershipEvent } from '../events.js';
 import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
 
-/** One endpoint with what this daemon has seen of it. */
+/** A registered endpoint, and its health as this daemon observed it. */
 export interface KnownEndpoint {
   readonly record: EndpointRecord;
   readonly health: EndpointHealth;
+  /** Instant at which this daemon received the newest registration. */
   readonly recordedAt: Millis;
-  /** Instant at which it was learnt to leave; null while it stays. */
+  /** Instant at which this daemon learnt that the endpoint leaves; null while it is not leaving. */
   readonly leavingAt: Millis | null;
-  /** Instant of a removal that is held back; null while the registration stands. */
+  /** Instant at which an uncertain removal was read; null while the registration is valid. */
   readonly removedAt: Millis | null;
 }
 
-/** Endpoints and data centres; the maps are updated in place by this child alone. */
+/** Endpoints and data centres. Only the `membership` child updates the collections, in place. */
 export interface MembershipState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
-  /** Instants at which removed endpoints were learnt to be gone; the oldest are dropped. */
+  /**
+   * Instants at which this daemon learnt of the removal of endpoints that were not reported as
+   * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
+   */
   readonly removed: Map<EndpointId, Millis>;
   readonly dataCentresOut: Set<DataCentreId>;
 }
 
 /**
- * Lists the endpoints that were learnt to leave or to be gone since an instant.
+ * Lists the endpoints of which this daemon learnt since an instant that they leave or were removed.
  *
  * @param state - endpoints
- * @param since - instant
- * @returns their ids
+ * @param since - earliest instant to include
+ * @returns the ids of the endpoints
  */
 export const listLeaving = (
   { endpoints, removed }: MembershipState,
@@ -57,7 +61,7 @@
 
 export interface MembershipInputs {
   readonly clock: Clock;
-  /** Engines whose state is asked for, since the store does not tell it now. */
+  /** Lists the engines to poll for their state, since their registrations may be stale. */
   readonly listPolledEngines: () => readonly EndpointId[];
 }
 
@@ -79,7 +83,7 @@
   },
 });
 
-/** The other daemons may read of it later. */
+/** Also notifies the other daemons, which may read the registration later. */
 const notifyLeaving = (endpoint: EndpointId): Effects => [
   { kind: 'post', event: { to: 'requests', kind: 'endpoint-leaving', endpoint } },
   { kind: 'post', event: { to: 'peers', kind: 'report-changed' } },
@@ -92,7 +96,7 @@
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
-  // One that was announced as leaving is known to the others.
+  // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
   if (removed.size > MAX_REMOVED_ENDPOINTS && oldest !== undefined) removed.delete(oldest);
@@ -105,8 +109,9 @@
   known.record.address.port !== record.address.port;
 
 /**
- * A registration that was written before an engine reported that it leaves does not take the report
- * back. A report may be that of an earlier life, so it does not hold for good.
+ * Reports whether the endpoint was recently reported as leaving. Such a report overrides a
+ * registration, which may have been written before it. It expires, since it may come from an earlier
+ * incarnation of the endpoint.
  */
 const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
   known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
@@ -268,11 +273,11 @@
 };
 
 /**
- * Creates the child that keeps the endpoints, their health as this daemon saw it, and the data
- * centres that operators took out.
+ * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
+ * observed by this daemon, and the data centres that operators took out.
  *
- * @param inputs - clock, and the engines to watch
- * @returns the decisions of the child
+ * @param inputs - clock, and the engines to poll
+ * @returns the decision logic
  */
 export const createMembershipLogic = ({
   clock,
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -9,20 +9,20 @@
   readonly at: Millis;
 }
 
-/** Crashes that this daemon saw, with those that others told of. */
+/** Crashes that this daemon observed or that its peers reported. */
 export interface CrashReports {
   readonly table: CrashTable;
   readonly addOwn: (fingerprint: string, endpoint: string) => void;
   readonly addFromPeer: (fingerprint: string, endpoint: string) => void;
-  /** Lists the newest crashes that this daemon saw itself. */
+  /** Lists the newest crashes that this daemon itself observed, as fingerprint and endpoint. */
   readonly listSince: (since: Millis) => readonly (readonly [string, string])[];
 }
 
 /**
  * Creates the crash reports of a daemon.
  *
- * @param clock - time of the crashes
- * @returns reports without a crash
+ * @param clock - source of the instants of crashes
+ * @returns the reports, without crashes
  */
 export const createCrashReports = (clock: Clock): CrashReports => {
   const table = createCrashTable();
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -46,10 +46,10 @@
 };
 
 /**
- * Reads one datagram of another daemon.
+ * Decodes a datagram from another daemon.
  *
- * @param bytes - datagram
- * @returns the message, or null when it has another format
+ * @param bytes - payload of the datagram
+ * @returns the message, or null when it is invalid or has another format version
  */
 export const decodePeerMessage = (bytes: Uint8Array): PeerMessage | null => {
   const json = parseJsonBytes(bytes);
@@ -57,10 +57,10 @@
 };
 
 /**
- * Creates the socket for datagrams of other daemons; all daemons use the same port.
+ * Creates the socket for datagrams between daemons; all daemons use the same port.
  *
- * @param address - own address
- * @param onMessage - receives each readable message with the sender's host
+ * @param address - address of this daemon
+ * @param onMessage - receives each valid message with the sender's host
  * @param onError - receives errors of the socket
  * @returns the socket, not yet open
  */
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -43,30 +43,30 @@
     ({ state } = step);
     return step.effects;
   };
-  const hear = (host: string, change: Partial<PeerMessage> = {}) =>
+  const receive = (host: string, change: Partial<PeerMessage> = {}) =>
     post({ to: 'peers', kind: 'peer-report-received', host, message: { ...MESSAGE, ...change } });
-  return { clock, crashes, post, hear, getState: () => state };
+  return { clock, crashes, post, receive, getState: () => state };
 };
 
 const findHosts = (effects: readonly GatewayEffect[]): readonly string[] =>
   effects.flatMap((effect) => (effect.kind === 'send-peers' ? effect.hosts : []));
 
-// Guards against daemons that never find each other, or that talk to themselves.
-test('daemons find each other by seeds and by each other’s reports', (t) => {
+// Guards against daemons that never discover each other, or that count themselves as a peer.
+test('daemons discover each other through seeds and the hosts in reports', (t) => {
   const harness = createHarness();
   t.deepEqual(findHosts(harness.post({ to: 'peers', kind: 'report-due' })), ['10.0.0.1']);
-  t.deepEqual(findHosts(harness.hear('10.0.0.2', { hosts: ['10.0.0.3', '10.0.0.5'] })), [
+  t.deepEqual(findHosts(harness.receive('10.0.0.2', { hosts: ['10.0.0.3', '10.0.0.5'] })), [
     '10.0.0.3',
   ]);
   t.is(countDaemons(harness.getState()), 2);
-  harness.hear('10.0.0.5');
+  harness.receive('10.0.0.5');
   t.is(countDaemons(harness.getState()), 2);
 });
 
-// Guards against the load and the budget share of a daemon that is gone.
-test('a silent peer no longer counts', (t) => {
+// Guards against the load and the budget share of a daemon that stopped.
+test('a peer without recent reports no longer counts', (t) => {
   const harness = createHarness();
-  harness.hear('10.0.0.2');
+  harness.receive('10.0.0.2');
   const { clock } = harness;
   t.is(sumPeerLoad(harness.getState(), 'e-1', clock.now()).tokens, 500);
   clock.advance(MAX_PEER_LOAD_AGE_MS + 1);
@@ -76,9 +76,9 @@
   t.is(countDaemons(harness.getState()), 1);
 });
 
-// Guards against two daemons that both think it is their turn at an engine, or both wait, and against
-// generations of little worth that use up the notice.
-test('turns follow the worth of the generations, and the names between equals', (t) => {
+// Guards against two daemons that both transfer from an engine or both wait, and against generations
+// of low priority that use up the time before the engine stops.
+test('transfers are ordered by priority, and ties by the names of the daemons', (t) => {
   const harness = createHarness();
   const check = (source: string, priority: number): boolean =>
     isPrecededByPeer(
@@ -86,8 +86,8 @@
       { source, priority, process: 'gateway-5' },
       harness.clock.now(),
     );
-  harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
-  harness.hear('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 700]] });
+  harness.receive('10.0.0.2', { transfers: [['e-1', 700]] });
+  harness.receive('10.0.0.9', { process: 'gateway-9', transfers: [['e-2', 700]] });
   t.true(check('e-1', 600));
   t.false(check('e-1', 800));
   t.true(check('e-1', 700));
@@ -95,19 +95,20 @@
   t.true(check('e-2', 600));
 });
 
-// Guards against a notice that is spent on waiting for a daemon that is gone.
-test('a silent peer does not hold up the transfers of others', (t) => {
+// Guards against transfers that are not made before the engine stops because they wait for a daemon
+// that stopped.
+test('a peer without recent reports does not delay the transfers of others', (t) => {
   const harness = createHarness();
-  harness.hear('10.0.0.2', { transfers: [['e-1', 700]] });
+  harness.receive('10.0.0.2', { transfers: [['e-1', 700]] });
   harness.clock.advance(MAX_MISSED_REPORTS * REPORT_INTERVAL_MS + 1);
   const transfer = { source: 'e-1', priority: 600, process: 'gateway-5' };
   t.false(isPrecededByPeer(harness.getState(), transfer, harness.clock.now()));
 });
 
-// Guards against crashes and notices that each daemon has to see for itself.
-test('crashes and leaving endpoints of a peer are taken over', (t) => {
+// Guards against daemons that ignore the crashes and leaving endpoints that a peer reports.
+test('crashes and leaving endpoints in the report of a peer are applied', (t) => {
   const harness = createHarness();
-  const effects = harness.hear('10.0.0.2', { crashes: [['f', 'e-1']], leaving: ['e-4'] });
+  const effects = harness.receive('10.0.0.2', { crashes: [['f', 'e-1']], leaving: ['e-4'] });
   t.deepEqual(harness.crashes, ['f e-1']);
   t.true(
     effects.some(
@@ -120,8 +121,8 @@
   );
 });
 
-// Guards against datagrams of another version or of no daemon at all.
-test('a datagram of another format is left out', (t) => {
+// Guards against datagrams of another format version or from a sender that is not a gateway daemon.
+test('a datagram of another format is rejected', (t) => {
   const encode = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value));
   t.deepEqual(decodePeerMessage(encode(MESSAGE)), MESSAGE);
   for (const bad of [
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -23,7 +23,7 @@
 import type { GatewayEffect, PeersEvent } from '../events.js';
 import { addLoads, NO_LOAD } from '../requests/load.js';
 
-/** Other gateway daemons; the map is updated in place by this child alone. */
+/** Other gateway daemons by host. Only the `peers` child updates the map, in place. */
 export interface PeersState {
   readonly peers: Map<string, Peer>;
   readonly seedsContactedAt: Millis;
@@ -35,23 +35,23 @@
   readonly process: string;
   readonly ownHost: string;
   readonly getSeeds: () => readonly string[];
-  /** Work of this daemon by endpoint. */
+  /** Lists the load of this daemon's requests on each endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
-  /** Endpoints that this daemon has learnt to leave since an instant. */
+  /** Lists the endpoints of which this daemon learnt since an instant that they leave. */
   readonly listLeaving: (since: Millis) => readonly EndpointId[];
   readonly listOwnTransfers: () => PeerMessage['transfers'];
-  /** Crashes that this daemon saw since an instant. */
+  /** Lists the crashes that this daemon observed since an instant, as fingerprint and endpoint. */
   readonly listCrashes: (since: Millis) => readonly (readonly [string, string])[];
-  /** Takes crashes that another daemon saw. */
+  /** Records a crash that another daemon observed. */
   readonly addCrash: (fingerprint: string, endpoint: string) => void;
 }
 
 /**
- * Sums the work of the peers on an endpoint.
+ * Sums the load of the peers on an endpoint.
  *
- * @param state - peers as they were last heard
- * @param endpoint - endpoint to sum for
- * @param now - current instant; older reports do not count
+ * @param state - peers and their last reports
+ * @param endpoint - endpoint of the load
+ * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
  * @returns the sum
  */
 export const sumPeerLoad = (state: PeersState, endpoint: EndpointId, now: Millis): EndpointLoad => {
@@ -68,14 +68,14 @@
 };
 
 /**
- * Counts the daemons that share a budget, this one included.
+ * Counts the daemons that share a retry budget, including this one.
  *
- * @param state - peers as they were last heard
- * @returns the number
+ * @param state - peers and their last reports
+ * @returns the number of daemons
  */
 export const countDaemons = (state: PeersState): number => state.peers.size + 1;
 
-/** A daemon's next generation to take from an endpoint that leaves. */
+/** Next transfer of a generation by a daemon from a leaving endpoint. */
 export interface PendingTransfer {
   readonly source: EndpointId;
   readonly priority: number;
@@ -83,13 +83,14 @@
 }
 
 /**
- * Tells whether another daemon's generation goes first. The one with most worth does, as some may
- * be lost; the names decide between equals, so that all daemons agree.
+ * Reports whether another daemon transfers a generation from the same endpoint first. The highest
+ * priority goes first, since there may not be time for all transfers. The names of the daemons
+ * break ties, so that all daemons agree.
  *
- * @param state - peers as they were last heard
- * @param transfer - this daemon's next generation
- * @param now - current instant; older reports do not count
- * @returns whether this daemon has to wait
+ * @param state - peers and their last reports
+ * @param transfer - this daemon's next transfer
+ * @param now - current instant; peers that missed `MAX_MISSED_REPORTS` reports do not count
+ * @returns true when this daemon has to wait
  */
 export const isPrecededByPeer = (
   state: PeersState,
@@ -108,12 +109,12 @@
   );
 
 /**
- * Counts the daemons that are heard now, this one included. One that is cut off from the others
- * cannot rely on what they learn.
+ * Counts the daemons whose reports arrive at present, including this one. A daemon that is cut off
+ * from the others cannot rely on what they learn.
  *
- * @param state - peers as they were last heard
- * @param now - current instant
- * @returns the number
+ * @param state - peers and their last reports
+ * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
+ * @returns the number of daemons
  */
 export const countReachableDaemons = (state: PeersState, now: Millis): number =>
   1 +
@@ -200,11 +201,11 @@
 };
 
 /**
- * Creates the child that exchanges loads and crashes with the other gateway daemons. A lost
- * datagram costs freshness only.
+ * Creates the decision logic of the `peers` child, which exchanges reports with the other gateway
+ * daemons. A lost datagram only delays what the next report repeats.
  *
- * @param inputs - clock, addresses and the figures to report
- * @returns the decisions of the child
+ * @param inputs - clock, addresses and the contents of the reports
+ * @returns the decision logic
  */
 export const createPeersLogic = (
   inputs: PeersInputs,
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -8,22 +8,25 @@
   waitingTokens: number,
 ];
 
-/** What one gateway daemon tells the others a few times a second. */
+/** Report of a gateway daemon to the others, sent every `REPORT_INTERVAL_MS`. */
 export interface PeerMessage {
   readonly format: 2;
   readonly process: string;
   readonly load: readonly LoadRow[];
-  /** Endpoints that leave and still run generations to be taken elsewhere, with the greatest worth. */
+  /**
+   * Leaving endpoints from which the sender has generations to transfer, each with the highest
+   * transfer priority among them.
+   */
   readonly transfers: readonly (readonly [source: string, priority: number])[];
-  /** Endpoints that the sender has lately learnt to leave. */
+  /** Endpoints of which the sender learnt recently that they leave or were removed. */
   readonly leaving: readonly string[];
-  /** Hosts of other daemons that the sender hears. */
+  /** Hosts of the daemons from which the sender receives reports. */
   readonly hosts: readonly string[];
-  /** Requests whose endpoints crashed: fingerprint and endpoint. */
+  /** Crashes: the fingerprint of a request and the endpoint that crashed while it ran it. */
   readonly crashes: readonly (readonly [fingerprint: string, endpoint: string])[];
 }
 
-/** Another daemon as it was last heard. */
+/** Another daemon and its last report. */
 export interface Peer {
   readonly host: string;
   readonly receivedAt: Millis;
