--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -53,7 +53,9 @@
   },
 });
 
-/** Sends one attempt to a server that runs `script` on its socket; resolves to the posted events. */
+/**
+ * Sends one attempt to a server that runs `script` on its socket; resolves to the posted events.
+ */
 const runAttempt = async (
   t: ExecutionContext,
   script: (socket: Socket) => void,
@@ -86,8 +88,8 @@
 
 const NO_LENGTH = 'HTTP/1.1 200 OK\r\n\r\n';
 
-// Guards against a truncated answer that counts as complete: without a length, only the reset of the
-// connection shows that bytes are missing.
+// Guards against a truncated answer that counts as complete: without a length, only the reset of
+// the connection shows that bytes are missing.
 test('an answer without a length fails when its connection is reset', async (t) => {
   const events = await runAttempt(t, (socket) => {
     socket.write(`${NO_LENGTH}part`);
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -12,9 +12,11 @@
 };
 
 /** Minimum of the time for which the store may hold a long poll of the operators' records. */
-export const MIN_FEED_WAIT_MS = 1_000;
+export const MIN_OPERATOR_WAIT_MS = 1_000;
 
-/** Time for which the store may hold a long poll of registrations, which endpoints keep renewing. */
+/**
+ * Time for which the store may hold a long poll of registrations, which endpoints keep renewing.
+ */
 export const REGISTRATIONS_WAIT_MS = 1_000;
 
 /** Pause after a read that returned records of operators. */
@@ -30,8 +32,8 @@
 export const MAX_PAUSE_SHARE = 0.3;
 
 /**
- * Time for detecting an overdue answer and for the next read, after a long poll on a connection that
- * went silent. The poll and this time together have to fit into `StalenessLimits.outageMs`.
+ * Time for detecting an overdue answer and for the next read, after a long poll on a connection
+ * that went silent. The poll and this time together have to fit into `StalenessLimits.outageMs`.
  */
 export const SILENT_READ_MARGIN_MS = 1_500;
 
@@ -42,7 +44,8 @@
 export const REREGISTRATION_GRACE_MS = 2_500;
 
 /**
- * Time without an answer, beyond the pause between reads, after which the store may be unavailable.
- * The endpoints together renew their registrations several times within it.
+ * Time without an answer to a read of registrations, beyond the pause between reads, after which
+ * the store may be unavailable. The endpoints together renew their registrations several times
+ * within it.
  */
 export const FEED_SILENCE_MS = 400;
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -8,14 +8,14 @@
 import type { GatewayEffect } from '../events.js';
 import type { FeedName, FeedResult, RecordChange } from '../types.js';
 
-const buildPace = (daemons: number): PacingInputs => ({
+const buildPacingInputs = (daemons: number): PacingInputs => ({
   daemons,
   stalenessLimits: { leavingMs: 2_000, outageMs: 3_000 },
 });
 
 const createHarness = (daemons = 4) => {
   const clock = createVirtualClock(1_000);
-  const logic = createFeedsLogic({ clock, getPacingInputs: () => buildPace(daemons) });
+  const logic = createFeedsLogic({ clock, getPacingInputs: () => buildPacingInputs(daemons) });
   const first = logic.init();
   let state: FeedsState = first.state;
   const answer = (feed: FeedName, result: FeedResult): readonly GatewayEffect[] => {
@@ -65,8 +65,8 @@
   t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: { kind: 'certain' } });
 });
 
-// Guards against running endpoints that are dropped because their registrations expired in an outage
-// of the store.
+// Guards against running endpoints that are dropped because their registrations expired in an
+// outage of the store.
 test('removals are uncertain for a grace period after an outage', (t) => {
   const harness = createHarness();
   harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
@@ -87,7 +87,7 @@
 test('the registrations are stale when a read stays unanswered', (t) => {
   const harness = createHarness();
   const check = (): boolean =>
-    isFeedStale(harness.getState().registrations, harness.clock.now(), buildPace(4));
+    isFeedStale(harness.getState().registrations, harness.clock.now(), buildPacingInputs(4));
   t.true(check());
   harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
   harness.clock.advance(440 + FEED_SILENCE_MS);
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,7 +1,7 @@
 import {
   FEED_RETRY_MS,
   FEED_SILENCE_MS,
-  MIN_FEED_WAIT_MS,
+  MIN_OPERATOR_WAIT_MS,
   MIN_REGISTRATIONS_PAUSE_MS,
   OPERATOR_PAUSE_MS,
   MAX_PAUSE_SHARE,
@@ -71,7 +71,7 @@
     case 'operator':
       return limitToRange(
         READ_SPACING_MS.operator * daemons,
-        MIN_FEED_WAIT_MS,
+        MIN_OPERATOR_WAIT_MS,
         stalenessLimits.outageMs - SILENT_READ_MARGIN_MS,
       );
     case 'registrations':
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -37,7 +37,9 @@
   | { readonly kind: 'no-room' }
   | { readonly kind: 'broken' };
 
-/** Buffered bytes of the bodies that all requests of the server are receiving, and the size limit. */
+/**
+ * Buffered bytes of the bodies that all requests of the server are receiving, and the size limit.
+ */
 interface BodyBuffers {
   bufferedBytes: number;
   maxBodyBytes: number;
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -21,8 +21,8 @@
 
 const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
 
-// Guards against a daemon that ends before the load balancer has noticed its drain, which breaks new
-// connections.
+// Guards against a daemon that ends before the load balancer has noticed its drain, which breaks
+// new connections.
 test('an idle daemon keeps running until the load balancer has probed it twice', (t) => {
   const harness = createHarness({ count: 0 });
   t.true(harness.post({ to: 'frontend', kind: 'drain-started' }).includes('log'));
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -48,9 +48,10 @@
       return toStep<GateState, GatewayEffect>(state);
     case 'draining': {
       const drainedMs = now - state.drainedAt;
-      const isIdle = left === 0 && drainedMs >= MIN_DRAIN_MS;
-      const isGraceOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
-      if (!isIdle && !isGraceOver) return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
+      const isDrained = left === 0 && drainedMs >= MIN_DRAIN_MS;
+      const isOverdue = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
+      if (!isDrained && !isOverdue)
+        return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -18,7 +18,7 @@
 const STATUS_UNREADY = 503;
 
 /** Delay after the start until the metrics libraries are loaded. */
-const METRICS_LOAD_MS = 2_000;
+const METRICS_LOAD_DELAY_MS = 2_000;
 
 const getUnreadyReason = ({ states }: GatewayCradle): string | null => {
   if (states.frontend.phase !== 'accepting') return 'draining';
@@ -35,7 +35,7 @@
   };
 };
 
-const buildStatusPage =
+const createPageGetter =
   (cradle: GatewayCradle, codec: HeadCodec) =>
   async (path: string): Promise<StatusPage | null> => {
     if (codec.isReadinessPath(path)) return renderReadiness(cradle);
@@ -67,19 +67,19 @@
   const onPageError = (error: unknown): void => {
     events.record('daemon-fault', { data: { error: String(error) } });
   };
-  const status = createStatusServer(buildStatusPage(cradle, ports.codec), onPageError);
-  const pages = createStatusServer(buildStatusPage(cradle, ports.codec), onPageError);
+  const readinessServer = createStatusServer(createPageGetter(cradle, ports.codec), onPageError);
+  const metricsServer = createStatusServer(createPageGetter(cradle, ports.codec), onPageError);
   // The supervisor tree starts before any address is open, since it handles the requests.
   daemon.start();
   await peers.open();
   await Promise.all([
     callers.listen(settings.callers),
-    status.listen(settings.readiness),
-    pages.listen(settings.metrics),
+    readinessServer.listen(settings.readiness),
+    metricsServer.listen(settings.metrics),
   ]);
   const loadTimer = setTimeout(() => {
     metrics.load().catch(onPageError);
-  }, METRICS_LOAD_MS);
+  }, METRICS_LOAD_DELAY_MS);
   events.record('daemon-started', {
     data: { startMs: Math.round(performance.now()), dataCentre: settings.dataCentre },
   });
@@ -92,8 +92,8 @@
     cradle.endpoints.close();
     ports.feeds.close();
     callers.close();
-    status.close();
-    pages.close();
+    readinessServer.close();
+    metricsServer.close();
     peers.close();
     return reason;
   });
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -58,8 +58,8 @@
   t.deepEqual(harness.list(), ['e-2']);
 });
 
-// Guards against generations that stay on an endpoint which renewed its registration after an outage
-// of the store and then stopped: that removal was not caused by the outage.
+// Guards against generations that stay on an endpoint which renewed its registration after an
+// outage of the store and then stopped: that removal was not caused by the outage.
 test('the removal of a registration that was renewed after the outage is certain', (t) => {
   const harness = createHarness();
   harness.clock.advance(500);
@@ -70,8 +70,8 @@
   t.deepEqual(harness.list(), []);
 });
 
-// Guards against daemons that send requests to an endpoint which another daemon knows to be removed.
-// Each daemon reads the feed on its own, and less often the more daemons there are.
+// Guards against daemons that send requests to an endpoint which another daemon knows to be
+// removed. Each daemon reads the feed on its own, and less often the more daemons there are.
 test('a removed endpoint is reported to the other daemons', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
@@ -93,8 +93,8 @@
   t.true(hasLeavingNotice(harness.post(due)));
 });
 
-// Guards against new work for a leaving engine: a registration may be read after the engine's report
-// although it was written before it.
+// Guards against new work for a leaving engine: a registration may be read after the engine's
+// report although it was written before it.
 test('an older registration does not override a report of leaving', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
@@ -138,8 +138,8 @@
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
 
-// Guards against a data centre that stays out although operators took it back in while the store was
-// unavailable.
+// Guards against a data centre that stays out although operators took it back in while the store
+// was unavailable.
 test('a load takes back in the data centres that it does not list as out', (t) => {
   const harness = createHarness();
   const out: RecordChange = { kind: 'data-centre-out', dataCentre: 'dc-a' };
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -61,7 +61,7 @@
 
 export interface MembershipInputs {
   readonly clock: Clock;
-  /** Lists the engines to poll for their state, since their registrations may be stale. */
+  /** Lists the engines to poll for their state while their registrations may be stale. */
   readonly listPolledEngines: () => readonly EndpointId[];
 }
 
@@ -110,8 +110,8 @@
 
 /**
  * Reports whether the endpoint was recently reported as leaving. Such a report overrides a
- * registration, which may have been written before it. It expires, since it may come from an earlier
- * incarnation of the endpoint.
+ * registration, which may have been written before it. It expires, since it may come from an
+ * earlier incarnation of the endpoint.
  */
 const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
   known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -76,8 +76,8 @@
   t.is(countDaemons(harness.getState()), 1);
 });
 
-// Guards against two daemons that both transfer from an engine or both wait, and against generations
-// of low priority that use up the time before the engine stops.
+// Guards against two daemons that both transfer from an engine or both wait, and against
+// generations of low priority that use up the time before the engine stops.
 test('transfers are ordered by priority, and ties by the names of the daemons', (t) => {
   const harness = createHarness();
   const check = (source: string, priority: number): boolean =>
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -37,7 +37,10 @@
   readonly getSeeds: () => readonly string[];
   /** Lists the load of this daemon's requests on each endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
-  /** Lists the endpoints of which this daemon learnt since an instant that they leave. */
+  /**
+   * Lists the endpoints of which this daemon learnt since an instant that they leave or were
+   * removed.
+   */
   readonly listLeaving: (since: Millis) => readonly EndpointId[];
   readonly listOwnTransfers: () => PeerMessage['transfers'];
   /** Lists the crashes that this daemon observed since an instant, as fingerprint and endpoint. */
@@ -123,8 +126,8 @@
 
 const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
   const known = [...state.peers.values()].map(({ host }) => host);
-  const isSeedTurn = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
-  const seeds = isSeedTurn ? inputs.getSeeds() : [];
+  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
+  const seeds = isSeedContactDue ? inputs.getSeeds() : [];
   const all = [...new Set([...known, ...seeds])].filter((host) => host !== inputs.ownHost);
   if (all.length <= MAX_REPORT_TARGETS) return all;
   const start = Math.floor(inputs.random.next() * all.length);
@@ -152,8 +155,8 @@
   for (const [host, peer] of state.peers) {
     if (now - peer.receivedAt > PEER_EXPIRY_MS) state.peers.delete(host);
   }
-  const isSeedTurn = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
-  const next = isSeedTurn ? { ...state, seedsContactedAt: now } : state;
+  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
+  const next = isSeedContactDue ? { ...state, seedsContactedAt: now } : state;
   return toStep<PeersState, GatewayEffect>(
     next,
     {
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -144,7 +144,7 @@
   readonly requestId: string;
   readonly source: EndpointAddress;
   readonly target: EndpointAddress;
-  /** `copy`: the source keeps running; `stop`: the source stops first, so that the target resumes. */
+  /** `copy`: the source keeps running; `stop`: the source stops, and the target resumes. */
   readonly mode: 'copy' | 'stop';
 }
 
