--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -29,7 +29,7 @@
   | { readonly kind: 'unreachable'; readonly message: string }
   /** The connection closed before the answer was complete. */
   | { readonly kind: 'broken'; readonly message: string }
-  /** The answer is malformed or too large, or it belongs to another request. */
+  /** The received answer is invalid: malformed, too large, unsigned or of another request. */
   | { readonly kind: 'garbled'; readonly message: string };
 
 export type FeedsEvent = { readonly to: 'feeds' } & (
