--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -4,25 +4,26 @@
 import type { AttemptFailure, AttemptOrder, RequestsEvent } from '../events.js';
 import type { HeadCodec } from '../types.js';
 
-/** Sends attempts to endpoints; each has a connection of its own. */
+/** Sends attempts to endpoints, each on its own connection. */
 export interface EndpointClient {
   readonly open: (order: AttemptOrder) => void;
-  /** Ends the connection of an attempt, which makes the endpoint stop. */
+  /** Closes the connection of an attempt, which cancels the request at the endpoint. */
   readonly cancel: (key: number, attempt: number) => void;
   readonly close: () => void;
 }
 
-const toName = (key: number, attempt: number): string => `${key.toString()}/${attempt.toString()}`;
+const toAttemptId = (key: number, attempt: number): string =>
+  `${key.toString()}/${attempt.toString()}`;
 
 const isParseError = (error: Error): boolean =>
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
 
 /**
- * Creates the client of the endpoints. A connection carries one request only, so that a late or
- * second answer can never be taken for that of the next request.
+ * Creates the client of the endpoints. Connections are not reused, so that a late or second answer
+ * is never taken for the answer to the next request.
  *
- * @param codec - translation of heads
- * @param post - receives what happens to the attempts
+ * @param codec - encodes the heads of requests and decodes the heads of answers
+ * @param post - receives the events of the attempts
  * @returns the client
  */
 export const createEndpointClient = (
@@ -33,25 +34,25 @@
 
   const open = (order: AttemptOrder): void => {
     const { address, attempt, key, request } = order;
-    const name = toName(key, attempt);
-    const to = { to: 'requests', key, attempt } as const;
+    const attemptId = toAttemptId(key, attempt);
+    const eventBase = { to: 'requests', key, attempt } as const;
     let phase: 'connecting' | 'sent' | 'ended' = 'connecting';
     let answer: IncomingMessage | null = null;
 
-    const end = (event: RequestsEvent): void => {
+    const finish = (event: RequestsEvent): void => {
       if (phase === 'ended') return;
       phase = 'ended';
       clearTimeout(connectTimer);
-      if (running.get(name) === outgoing) running.delete(name);
+      if (running.get(attemptId) === outgoing) running.delete(attemptId);
       post(event);
     };
 
     const fail = (error: Error): void => {
-      // The rest of a complete answer is still on its way through the stream.
+      // The answer is complete, and its `end` event follows once the buffered data has been read.
       if (answer?.complete === true) return;
       const kind: AttemptFailure['kind'] =
         phase === 'connecting' ? 'unreachable' : isParseError(error) ? 'garbled' : 'broken';
-      end({ ...to, kind: 'attempt-failed', failure: { kind, message: error.message } });
+      finish({ ...eventBase, kind: 'attempt-failed', failure: { kind, message: error.message } });
     };
 
     const outgoing = openRequest({
@@ -63,9 +64,9 @@
       agent: false,
       setHost: false,
     });
-    running.set(name, outgoing);
+    running.set(attemptId, outgoing);
     const connectTimer = setTimeout(() => {
-      outgoing.destroy(new Error('the connection was not made in time'));
+      outgoing.destroy(new Error('the connection was not established in time'));
     }, CONNECT_TIMEOUT_MS);
 
     outgoing.on('socket', (socket) => {
@@ -74,7 +75,7 @@
         clearTimeout(connectTimer);
         if (phase !== 'connecting') return;
         phase = 'sent';
-        post({ ...to, kind: 'attempt-sent' });
+        post({ ...eventBase, kind: 'attempt-sent' });
       });
     });
     outgoing.on('error', fail);
@@ -82,20 +83,21 @@
       answer = incoming;
       const head = codec.decodeAnswer(incoming.statusCode ?? 0, incoming.rawHeaders);
       if (phase === 'ended') return;
-      post({ ...to, kind: 'answer-started', head });
+      post({ ...eventBase, kind: 'answer-started', head });
       incoming.on('data', (bytes: Buffer) => {
-        if (phase !== 'ended') post({ ...to, kind: 'answer-continued', bytes });
+        if (phase !== 'ended') post({ ...eventBase, kind: 'answer-continued', bytes });
       });
       incoming.on('end', () => {
-        end({ ...to, kind: 'answer-ended' });
+        finish({ ...eventBase, kind: 'answer-ended' });
       });
       incoming.on('error', fail);
       incoming.on('close', () => {
-        if (!incoming.complete) fail(new Error('the connection ended before the answer'));
+        if (!incoming.complete)
+          fail(new Error('the connection closed before the answer was complete'));
       });
     });
     outgoing.on('close', () => {
-      if (answer === null) fail(new Error('the connection ended without an answer'));
+      if (answer === null) fail(new Error('the connection closed without an answer'));
     });
     outgoing.end(request.body);
   };
@@ -103,9 +105,9 @@
   return {
     open,
     cancel: (key, attempt) => {
-      const name = toName(key, attempt);
-      const outgoing = running.get(name);
-      running.delete(name);
+      const attemptId = toAttemptId(key, attempt);
+      const outgoing = running.get(attemptId);
+      running.delete(attemptId);
       outgoing?.destroy();
     },
     close: () => {
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,14 +1,14 @@
 import {
   FEED_RETRY_MS,
   FEED_SILENCE_MS,
-  MIN_FEED_WAIT_MS,
+  MIN_OPERATOR_WAIT_MS,
   MIN_REGISTRATIONS_PAUSE_MS,
   OPERATOR_PAUSE_MS,
-  PAUSE_SHARE,
+  MAX_PAUSE_SHARE,
   READ_SPACING_MS,
   REGISTRATIONS_WAIT_MS,
-  RETURN_GRACE_MS,
-  SILENT_READ_MS,
+  REREGISTRATION_GRACE_MS,
+  SILENT_READ_MARGIN_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -16,9 +16,15 @@
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
-import type { FeedName, FeedResult, LearnWithin, RecordChange, RemovalTrust } from '../types.js';
+import type {
+  FeedName,
+  FeedResult,
+  StalenessLimits,
+  RecordChange,
+  RemovalCertainty,
+} from '../types.js';
 
-/** Where this daemon is in one stream of records. */
+/** Progress of this daemon in one feed. */
 export type FeedState =
   | { readonly kind: 'loading'; readonly failingSince: Millis | null }
   | {
@@ -26,8 +32,8 @@
       readonly position: number;
       readonly failingSince: Millis | null;
       readonly readAt: Millis;
-      /** Removals until then may only mean that the store was away. */
-      readonly doubtUntil: Millis;
+      /** Removals read before this instant may only mean that the store was unavailable. */
+      readonly uncertainUntil: Millis;
     };
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
@@ -36,34 +42,37 @@
 
 export interface FeedsInputs {
   readonly clock: Clock;
-  readonly getPace: () => FeedPace;
+  readonly getPacingInputs: () => PacingInputs;
 }
 
-/** What the pace of the reads follows from. */
-export interface FeedPace {
-  /** Daemons that read the same records, this one included. */
+/** Values from which the intervals between reads are computed. */
+export interface PacingInputs {
+  /** Number of daemons that read the same feeds, including this one. */
   readonly daemons: number;
-  readonly learnWithin: LearnWithin;
+  readonly stalenessLimits: StalenessLimits;
 }
 
 interface ReadContext {
   readonly now: Millis;
-  readonly pace: FeedPace;
+  readonly pacing: PacingInputs;
 }
 
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
-const limitTo = (value: Millis, least: Millis, most: Millis): Millis =>
-  Math.max(least, Math.min(value, most));
+const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
+  Math.max(min, Math.min(value, max));
 
-/** How long the store may hold a read back; a connection that fell silent shows only after that. */
-const computeWait = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+/**
+ * Computes the time for which the store may hold a long poll. A connection that went silent is
+ * detected only after it.
+ */
+const computeWait = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
-      return limitTo(
+      return limitToRange(
         READ_SPACING_MS.operator * daemons,
-        MIN_FEED_WAIT_MS,
-        learnWithin.outageMs - SILENT_READ_MS,
+        MIN_OPERATOR_WAIT_MS,
+        stalenessLimits.outageMs - SILENT_READ_MARGIN_MS,
       );
     case 'registrations':
       return REGISTRATIONS_WAIT_MS;
@@ -72,40 +81,41 @@
   }
 };
 
-/** Pause after a read that brought records. */
-const computePause = (feed: FeedName, { daemons, learnWithin }: FeedPace): Millis => {
+/** Computes the pause after a read that returned records. */
+const computePause = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
     case 'operator':
       return OPERATOR_PAUSE_MS;
     case 'registrations':
-      return limitTo(
+      return limitToRange(
         READ_SPACING_MS.registrations * daemons,
         MIN_REGISTRATIONS_PAUSE_MS,
-        learnWithin.leavingMs * PAUSE_SHARE,
+        stalenessLimits.leavingMs * MAX_PAUSE_SHARE,
       );
     default:
       return assertNever(feed);
   }
 };
 
-const readFeed = (feed: FeedName, state: FeedState, pace: FeedPace): GatewayEffect =>
+const readFeed = (feed: FeedName, state: FeedState, pacing: PacingInputs): GatewayEffect =>
   state.kind === 'loading'
     ? { kind: 'load-feed', feed }
-    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pace) };
+    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pacing) };
 
 /**
- * Tells whether a feed may hide what happened: its last read failed, or has been waiting although
- * endpoints write all the time. An outage in which the store falls silent shows here first.
+ * Reports whether the feed of registrations may be stale: its last read failed, or is unanswered
+ * although endpoints renew their registrations all the time. The second case detects a store that
+ * stops answering without an error.
  *
  * @param state - state of the feed of registrations
  * @param now - current instant
- * @param pace - what the pauses between reads follow from
- * @returns whether the records may be behind
+ * @param pacing - values from which the pauses between reads are computed
+ * @returns true when the known registrations may be out of date
  */
-export const isFeedStale = (state: FeedState, now: Millis, pace: FeedPace): boolean =>
+export const isFeedStale = (state: FeedState, now: Millis, pacing: PacingInputs): boolean =>
   state.kind === 'loading' ||
   state.failingSince !== null ||
-  now - state.readAt > computePause('registrations', pace) + FEED_SILENCE_MS;
+  now - state.readAt > computePause('registrations', pacing) + FEED_SILENCE_MS;
 
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
@@ -151,7 +161,7 @@
   feed: FeedName,
   changes: readonly RecordChange[],
   scope: Scope,
-  removals: RemovalTrust,
+  removals: RemovalCertainty,
 ): GatewayEffect[] => {
   if (changes.length === 0 && scope === 'changed') return [];
   const unreadable = describeUnreadable(feed, changes);
@@ -171,7 +181,7 @@
   }
 };
 
-const describeReturn = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
+const describeRecovery = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
   state.failingSince === null
     ? []
     : [
@@ -182,39 +192,39 @@
         },
       ];
 
-/** Returns until when removals are doubtful, after a read that succeeded. */
-const computeDoubt = (state: FeedState, now: Millis): Millis => {
-  if (state.failingSince !== null) return now + RETURN_GRACE_MS;
-  return state.kind === 'following' ? state.doubtUntil : 0;
+/** Computes the instant until which removals are uncertain, after a successful read. */
+const computeUncertainUntil = (state: FeedState, now: Millis): Millis => {
+  if (state.failingSince !== null) return now + REREGISTRATION_GRACE_MS;
+  return state.kind === 'following' ? state.uncertainUntil : 0;
 };
 
 const handleSuccess = (
   feed: FeedName,
   state: FeedState,
   result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  { now, pace }: ReadContext,
+  { now, pacing }: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const doubtUntil = computeDoubt(state, now);
+  const uncertainUntil = computeUncertainUntil(state, now);
   const scope = result.kind === 'loaded' ? 'all' : 'changed';
-  const removals: RemovalTrust =
-    now < doubtUntil
-      ? { kind: 'doubtful', since: doubtUntil - RETURN_GRACE_MS }
+  const removals: RemovalCertainty =
+    now < uncertainUntil
+      ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
       : { kind: 'certain' };
   const next: FeedState = {
     kind: 'following',
     position: result.position,
     failingSince: null,
     readAt: now,
-    doubtUntil,
+    uncertainUntil,
   };
-  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pace);
+  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pacing);
   return {
     state: next,
     effects: [
-      ...describeReturn(feed, state, now),
+      ...describeRecovery(feed, state, now),
       ...publishChanges(feed, result.changes, scope, removals),
       pauseMs === 0
-        ? readFeed(feed, next, pace)
+        ? readFeed(feed, next, pacing)
         : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
     ],
   };
@@ -265,15 +275,16 @@
 };
 
 /**
- * Creates the child that follows the records of operators and endpoints in the platform's store. It
- * loads the newest records once and then reads on from their end.
+ * Creates the decision logic of the `feeds` child, which follows the records of operators and
+ * endpoints in the platform's store. It loads the newest record of each key once and then reads the
+ * records after them.
  *
- * @param inputs - time of the reads and number of the readers
- * @returns the decisions of the child
+ * @param inputs - clock, and the values from which the intervals between reads are computed
+ * @returns the decision logic
  */
 export const createFeedsLogic = ({
   clock,
-  getPace,
+  getPacingInputs,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
@@ -286,11 +297,14 @@
     const { feed } = event;
     switch (event.kind) {
       case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(state, readFeed(feed, state[feed], getPace()));
+        return toStep<FeedsState, GatewayEffect>(
+          state,
+          readFeed(feed, state[feed], getPacingInputs()),
+        );
       case 'feed-answered': {
         const step = handleResult(feed, state[feed], event.result, {
           now: clock.now(),
-          pace: getPace(),
+          pacing: getPacingInputs(),
         });
         return { state: { ...state, [feed]: step.state }, effects: step.effects };
       }
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -4,7 +4,7 @@
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
   MAX_HEADER_BYTES,
-  MAX_HELD_BODY_BYTES,
+  MAX_BUFFERED_BODY_BYTES,
 } from './constants.js';
 import type { Responders } from './responders.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -17,7 +17,7 @@
   readonly clock: Clock;
   readonly responders: Responders;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
-  readonly postGone: (key: number) => void;
+  readonly postDisconnect: (key: number) => void;
 }
 
 export interface CallerServer {
@@ -37,58 +37,65 @@
   | { readonly kind: 'no-room' }
   | { readonly kind: 'broken' };
 
-/** Bytes of bodies that are held now, over all requests of the server. */
-interface BodyRoom {
-  held: number;
+/**
+ * Buffered bytes of the bodies that all requests of the server are receiving, and the size limit.
+ */
+interface BodyBuffers {
+  bufferedBytes: number;
   maxBodyBytes: number;
 }
 
-const readBody = (incoming: IncomingMessage, room: BodyRoom): Promise<BodyResult> =>
+const readBody = (incoming: IncomingMessage, buffers: BodyBuffers): Promise<BodyResult> =>
   new Promise((resolve) => {
     const chunks: Uint8Array[] = [];
     let size = 0;
-    const stop = (result: BodyResult): void => {
-      room.held -= size;
+    const settle = (result: BodyResult): void => {
+      buffers.bufferedBytes -= size;
       size = 0;
       incoming.removeAllListeners('data');
       resolve(result);
     };
     incoming.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      room.held += chunk.length;
-      if (size > room.maxBodyBytes) stop({ kind: 'too-large' });
-      else if (room.held > MAX_HELD_BODY_BYTES) stop({ kind: 'no-room' });
+      buffers.bufferedBytes += chunk.length;
+      if (size > buffers.maxBodyBytes) settle({ kind: 'too-large' });
+      else if (buffers.bufferedBytes > MAX_BUFFERED_BODY_BYTES) settle({ kind: 'no-room' });
       else chunks.push(chunk);
     });
     incoming.on('end', () => {
-      stop({
+      settle({
         kind: 'whole',
         body: chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks),
       });
     });
     incoming.on('close', () => {
-      stop({ kind: 'broken' });
+      settle({ kind: 'broken' });
     });
-    // The end of the connection is told by `close`; without a listener the error ends the process.
+    // `close` handles the end of the connection; an error without a listener would end the process.
     incoming.on('error', () => undefined);
   });
 
-const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
-const TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
-const NO_ROOM = createFailure('not-run', 'overloaded', 'too many bodies are held', 200);
-const SHED = createFailure('not-run', 'overloaded', 'too many events wait', 200);
+const BODY_TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
+const BUFFERS_FULL = createFailure(
+  'not-run',
+  'overloaded',
+  'the buffers for request bodies are full',
+  200,
+);
+const QUEUE_FULL = createFailure('not-run', 'overloaded', 'the event queue is full', 200);
 
 /**
- * Creates the server for callers. It reads each request whole before it hands it on, since a body
- * that may be sent to a second endpoint must be at hand.
+ * Creates the server for callers. It reads the whole body before it posts a request, since a retry
+ * sends the body again.
  *
- * @param options - codec, clock and receivers
+ * @param options - codec, clock, responders and event handlers
  * @returns the server, not yet listening
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { codec, clock, responders } = options;
-  const room: BodyRoom = { held: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
+  const buffers: BodyBuffers = { bufferedBytes: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
   let nextKey = 1;
 
   const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -101,25 +108,25 @@
     const key = nextKey;
     nextKey += 1;
     responders.open(key, head.id, response);
-    const read = await readBody(incoming, room);
-    switch (read.kind) {
+    const result = await readBody(incoming, buffers);
+    switch (result.kind) {
       case 'broken':
-        responders.forget(key);
+        responders.remove(key);
         return;
       case 'too-large':
-        responders.refuse(key, TOO_LARGE);
+        responders.refuse(key, BODY_TOO_LARGE);
         return;
       case 'no-room':
-        responders.refuse(key, NO_ROOM);
+        responders.refuse(key, BUFFERS_FULL);
         return;
       case 'whole':
         break;
     }
     response.on('close', () => {
-      if (responders.has(key)) options.postGone(key);
+      if (responders.has(key)) options.postDisconnect(key);
     });
-    const request: ForwardRequest = { ...head, key, body: read.body, receivedAt };
-    if (options.postArrival(request) === 'shed') responders.refuse(key, SHED);
+    const request: ForwardRequest = { ...head, key, body: result.body, receivedAt };
+    if (options.postArrival(request) === 'shed') responders.refuse(key, QUEUE_FULL);
   };
 
   const server: Server = createServer(
@@ -129,10 +136,10 @@
     },
   );
   server.on('clientError', (error, socket) => {
-    // A connection that broke is told by the end of its request; only bytes can be unreadable.
+    // Reports only parse errors; a broken connection is handled by the `close` of its request.
     const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
     if (isUnreadable) responders.reportUnreadable(error);
-    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST);
+    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
     else socket.destroy();
   });
 
@@ -148,7 +155,7 @@
     applyLimits: (idleTimeoutMs, headerTimeoutMs, maxBodyBytes) => {
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
-      room.maxBodyBytes = maxBodyBytes;
+      buffers.maxBodyBytes = maxBodyBytes;
     },
     closeIdle: () => {
       server.close();
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -1,4 +1,4 @@
-import { CLOSE_IDLE_MS, DRAIN_CHECK_MS, DRAIN_MIN_MS, GRACE_MARGIN_MS } from './constants.js';
+import { CLOSE_IDLE_GRACE_MS, DRAIN_CHECK_MS, MIN_DRAIN_MS, GRACE_MARGIN_MS } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -7,7 +7,7 @@
 import type { FrontendEvent, GatewayEffect } from '../events.js';
 import type { DrainTimes } from '../requests/types.js';
 
-/** Whether the daemon stays or is on its way out. */
+/** Whether the daemon accepts requests or is draining. */
 export type GateState =
   | { readonly phase: 'accepting' }
   | { readonly phase: 'draining'; readonly drainedAt: Millis }
@@ -15,18 +15,18 @@
 
 export interface GateInputs {
   readonly clock: Clock;
-  /** Time from the order to stop until the process is killed. */
+  /** Returns the time from the stop signal until the platform kills the process. */
   readonly getGraceMs: () => Millis;
   readonly countOpen: () => number;
 }
 
 /**
- * Tells where a daemon is in its drain.
+ * Computes the elapsed and remaining time of the drain.
  *
  * @param state - phase of the daemon
  * @param now - current instant
- * @param graceMs - time from the order to stop until the process is killed
- * @returns the times, or null while the daemon stays
+ * @param graceMs - time from the stop signal until the platform kills the process
+ * @returns the times, or null while the daemon is not draining
  */
 export const computeDrain = (state: GateState, now: Millis, graceMs: Millis): DrainTimes | null => {
   if (state.phase === 'accepting') return null;
@@ -34,7 +34,7 @@
   return { drainedMs, leftMs: graceMs - GRACE_MARGIN_MS - drainedMs };
 };
 
-const CHECK: GatewayEffect = {
+const NEXT_DRAIN_CHECK: GatewayEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
   event: { to: 'frontend', kind: 'drain-checked' },
@@ -48,18 +48,19 @@
       return toStep<GateState, GatewayEffect>(state);
     case 'draining': {
       const drainedMs = now - state.drainedAt;
-      const isDone = left === 0 && drainedMs >= DRAIN_MIN_MS;
-      const isOver = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
-      if (!isDone && !isOver) return toStep<GateState, GatewayEffect>(state, CHECK);
+      const isDrained = left === 0 && drainedMs >= MIN_DRAIN_MS;
+      const isOverdue = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
+      if (!isDrained && !isOverdue)
+        return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
-        CHECK,
+        NEXT_DRAIN_CHECK,
       );
     }
     case 'closing':
-      return now - state.closedAt < CLOSE_IDLE_MS
-        ? toStep<GateState, GatewayEffect>(state, CHECK)
+      return now - state.closedAt < CLOSE_IDLE_GRACE_MS
+        ? toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK)
         : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
     default:
       return assertNever(state);
@@ -67,11 +68,11 @@
 };
 
 /**
- * Creates the child that lets requests in and leads the daemon out. While it drains it still serves
- * what comes on connections that callers keep open.
+ * Creates the decision logic of the `frontend` child, which accepts requests and drains the daemon.
+ * A draining daemon still handles requests that arrive on kept-alive connections.
  *
- * @param inputs - clock, grace period and open requests
- * @returns the decisions of the child
+ * @param inputs - clock, grace period and number of open requests
+ * @returns the decision logic
  */
 export const createGateLogic = (
   inputs: GateInputs,
@@ -90,7 +91,7 @@
         return toStep<GateState, GatewayEffect>(
           { phase: 'draining', drainedAt: inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
-          CHECK,
+          NEXT_DRAIN_CHECK,
         );
       }
       case 'drain-checked':
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,16 +1,16 @@
 import test from 'ava';
-import { DOUBTFUL_REMOVAL_MS, LEAVING_HOLD_MS } from './constants.js';
+import { UNCERTAIN_REMOVAL_DELAY_MS, LEAVING_REPORT_VALIDITY_MS } from './constants.js';
 import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { RecordChange, RemovalTrust } from '../types.js';
+import type { RecordChange, RemovalCertainty } from '../types.js';
 
-const CERTAIN: RemovalTrust = { kind: 'certain' };
+const CERTAIN: RemovalCertainty = { kind: 'certain' };
 
-const createHarness = (watched: readonly string[] = []) => {
+const createHarness = (polled: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
-  const logic = createMembershipLogic({ clock, listWatched: () => watched });
+  const logic = createMembershipLogic({ clock, listPolledEngines: () => polled });
   let { state } = logic.init();
   const post = (event: MembershipEvent): readonly GatewayEffect[] => {
     const step = logic.decide(state, event);
@@ -20,7 +20,7 @@
   const change = (
     changes: readonly RecordChange[],
     scope: 'all' | 'changed' = 'changed',
-    removals: RemovalTrust = CERTAIN,
+    removals: RemovalCertainty = CERTAIN,
   ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
   return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
 };
@@ -33,8 +33,8 @@
 const hasLeavingNotice = (effects: readonly GatewayEffect[]): boolean =>
   effects.some((effect) => effect.kind === 'post' && effect.event.kind === 'endpoint-leaving');
 
-// Guards against generations that stay on an endpoint which leaves without saying so.
-test('a leaving and a removed endpoint are announced', (t) => {
+// Guards against generations that stay on an endpoint whose leaving or removal is not announced.
+test('leaving and removed endpoints are announced', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   t.true(hasLeavingNotice(harness.change([register('e-1', { phase: 'leaving' })])));
@@ -42,37 +42,37 @@
   t.deepEqual(harness.list(), ['e-1']);
 });
 
-// Guards against endpoints that are lost with an outage of the store though they live.
-test('a doubtful removal waits for the endpoint to come back', (t) => {
+// Guards against running endpoints that are dropped because of an outage of the store.
+test('an uncertain removal is delayed and cancelled by a new registration', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
-  const [timer] = harness.change([removal], 'changed', doubtful);
-  harness.change([{ ...removal, id: 'e-2' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  const [timer] = harness.change([removal], 'changed', uncertain);
+  harness.change([{ ...removal, id: 'e-2' }], 'changed', uncertain);
   t.deepEqual(harness.list(), ['e-1', 'e-2']);
-  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, DOUBTFUL_REMOVAL_MS);
+  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, UNCERTAIN_REMOVAL_DELAY_MS);
   harness.change([register('e-2')]);
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-2', removedAt: 1_000 });
   t.deepEqual(harness.list(), ['e-2']);
 });
 
-// Guards against generations that stay on an endpoint which was back after an outage of the store and
-// then left: its removal is no lapse.
+// Guards against generations that stay on an endpoint which renewed its registration after an
+// outage of the store and then stopped: that removal was not caused by the outage.
 test('the removal of a registration that was renewed after the outage is certain', (t) => {
   const harness = createHarness();
   harness.clock.advance(500);
   harness.change([register('e-1')]);
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_200 };
-  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_200 };
+  const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   t.true(hasLeavingNotice(effects));
   t.deepEqual(harness.list(), []);
 });
 
-// Guards against daemons that send to an endpoint which another knows to be gone: each reads on its
-// own, and more slowly the more of them there are.
-test('an endpoint that is gone is told to the other daemons', (t) => {
+// Guards against daemons that send requests to an endpoint which another daemon knows to be
+// removed. Each daemon reads the feed on its own, and less often the more daemons there are.
+test('a removed endpoint is reported to the other daemons', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
   const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
@@ -83,63 +83,64 @@
   t.deepEqual(listLeaving(harness.getState(), 1_001), []);
 });
 
-// Guards against generations that stay on an endpoint whose entry did not come back.
-test('an endpoint that is not back in time is announced as leaving', (t) => {
+// Guards against generations that stay on an endpoint that did not renew its registration.
+test('an endpoint without a new registration is removed after the delay', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
-  const doubtful: RemovalTrust = { kind: 'doubtful', since: 1_000 };
-  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', doubtful);
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   const due = { to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 } as const;
   t.true(hasLeavingNotice(harness.post(due)));
 });
 
-// Guards against new work for an engine that leaves: a registration written before its report is
-// read after it.
-test('an older registration does not take a report back', (t) => {
+// Guards against new work for a leaving engine: a registration may be read after the engine's
+// report although it was written before it.
+test('an older registration does not override a report of leaving', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
   const report = { phase: 'leaving' } as const;
   harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
   harness.change([register('e-1')]);
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
-  harness.clock.advance(LEAVING_HOLD_MS);
+  harness.clock.advance(LEAVING_REPORT_VALIDITY_MS);
   harness.change([register('e-1')]);
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
 });
 
-// Guards against endpoints that stay for ever when their removal was not read.
-test('a load replaces what was known', (t) => {
+// Guards against endpoints that are kept forever because their removal was not read.
+test('a load removes endpoints that are not in it', (t) => {
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   harness.change([register('e-2')], 'all');
   t.deepEqual(harness.list(), ['e-2']);
 });
 
-// Guards against faults of an earlier life that are held against a new one under the same id.
-test('an endpoint that starts again under its id begins anew', (t) => {
+// Guards against failures of an earlier incarnation that count against a new one with the same id.
+test('the health of an endpoint is reset when it restarts under the same id', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
-  const sign = { kind: 'unreachable' } as const;
-  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign });
+  const unreachable = { kind: 'unreachable' } as const;
+  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign: unreachable });
   t.true((harness.getState().endpoints.get('e-1')?.health.avoidUntil ?? 0) > 1_000);
   harness.change([register('e-1', { startedAt: 2 })]);
   t.is(harness.getState().endpoints.get('e-1')?.health.avoidUntil, 0);
 });
 
-// Guards against an engine whose notice is missed because the store is away.
-test('a report of an engine tells that it leaves', (t) => {
+// Guards against an engine whose notice of leaving is missed because the store is unavailable.
+test('a polled engine that reports leaving is announced', (t) => {
   const harness = createHarness(['e-1']);
   harness.change([register('e-1')]);
-  const asked = harness.post({ to: 'membership', kind: 'reports-due' });
-  t.true(asked.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
+  const polls = harness.post({ to: 'membership', kind: 'reports-due' });
+  t.true(polls.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
   const report = { phase: 'leaving' } as const;
   const effects = harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
   t.true(hasLeavingNotice(effects));
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
 
-// Guards against a data centre that stays out after operators took it back while the store was away.
-test('a load also tells which data centres are back', (t) => {
+// Guards against a data centre that stays out although operators took it back in while the store
+// was unavailable.
+test('a load takes back in the data centres that it does not list as out', (t) => {
   const harness = createHarness();
   const out: RecordChange = { kind: 'data-centre-out', dataCentre: 'dc-a' };
   harness.post({
@@ -148,9 +149,9 @@
     changes: [out],
     scope: 'changed',
   });
-  t.true(harness.getState().out.has('dc-a'));
+  t.true(harness.getState().dataCentresOut.has('dc-a'));
   harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'changed' });
-  t.true(harness.getState().out.has('dc-a'));
+  t.true(harness.getState().dataCentresOut.has('dc-a'));
   harness.post({ to: 'membership', kind: 'data-centres-changed', changes: [], scope: 'all' });
-  t.false(harness.getState().out.has('dc-a'));
+  t.false(harness.getState().dataCentresOut.has('dc-a'));
 });
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,8 +1,8 @@
 import {
-  DOUBTFUL_REMOVAL_MS,
-  LEAVING_HOLD_MS,
-  MAX_REMOVED,
-  REPORTS_INTERVAL_MS,
+  UNCERTAIN_REMOVAL_DELAY_MS,
+  LEAVING_REPORT_VALIDITY_MS,
+  MAX_REMOVED_ENDPOINTS,
+  REPORT_POLL_INTERVAL_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -16,34 +16,38 @@
 } from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { EngineReport, RecordChange, RemovalTrust } from '../types.js';
+import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
 
-/** One endpoint with what this daemon has seen of it. */
+/** A registered endpoint, and its health as this daemon observed it. */
 export interface KnownEndpoint {
   readonly record: EndpointRecord;
   readonly health: EndpointHealth;
+  /** Instant at which this daemon received the newest registration. */
   readonly recordedAt: Millis;
-  /** Instant at which it was learnt to leave; null while it stays. */
+  /** Instant at which this daemon learnt that the endpoint leaves; null while it is not leaving. */
   readonly leavingAt: Millis | null;
-  /** Instant of a removal that is held back; null while the registration stands. */
+  /** Instant at which an uncertain removal was read; null while the registration is valid. */
   readonly removedAt: Millis | null;
 }
 
-/** Endpoints and data centres; the maps are updated in place by this child alone. */
+/** Endpoints and data centres. Only the `membership` child updates the collections, in place. */
 export interface MembershipState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
-  /** Instants at which removed endpoints were learnt to be gone; the oldest are dropped. */
+  /**
+   * Instants at which this daemon learnt of the removal of endpoints that were not reported as
+   * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
+   */
   readonly removed: Map<EndpointId, Millis>;
-  readonly out: Set<DataCentreId>;
+  readonly dataCentresOut: Set<DataCentreId>;
 }
 
 /**
- * Lists the endpoints that were learnt to leave or to be gone since an instant.
+ * Lists the endpoints of which this daemon learnt since an instant that they leave or were removed.
  *
  * @param state - endpoints
- * @param since - instant
- * @returns their ids
+ * @param since - earliest instant to include
+ * @returns the ids of the endpoints
  */
 export const listLeaving = (
   { endpoints, removed }: MembershipState,
@@ -57,15 +61,15 @@
 
 export interface MembershipInputs {
   readonly clock: Clock;
-  /** Engines whose state is asked for, since the store does not tell it now. */
-  readonly listWatched: () => readonly EndpointId[];
+  /** Lists the engines to poll for their state while their registrations may be stale. */
+  readonly listPolledEngines: () => readonly EndpointId[];
 }
 
 type Effects = GatewayEffect[];
 
-const SCHEDULE_REPORTS: GatewayEffect = {
+const NEXT_REPORT_POLL: GatewayEffect = {
   kind: 'schedule',
-  delayMs: REPORTS_INTERVAL_MS,
+  delayMs: REPORT_POLL_INTERVAL_MS,
   event: { to: 'membership', kind: 'reports-due' },
 };
 
@@ -79,7 +83,7 @@
   },
 });
 
-/** The other daemons may read of it later. */
+/** Also notifies the other daemons, which may read the registration later. */
 const notifyLeaving = (endpoint: EndpointId): Effects => [
   { kind: 'post', event: { to: 'requests', kind: 'endpoint-leaving', endpoint } },
   { kind: 'post', event: { to: 'peers', kind: 'report-changed' } },
@@ -92,24 +96,25 @@
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
-  // One that was announced as leaving is known to the others.
+  // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
-  if (removed.size > MAX_REMOVED && oldest !== undefined) removed.delete(oldest);
+  if (removed.size > MAX_REMOVED_ENDPOINTS && oldest !== undefined) removed.delete(oldest);
   return [describeEndpoint(known.record, 'removed'), ...notifyLeaving(id)];
 };
 
-const isNewLife = (known: KnownEndpoint, record: EndpointRecord): boolean =>
+const isNewIncarnation = (known: KnownEndpoint, record: EndpointRecord): boolean =>
   known.record.startedAt !== record.startedAt ||
   known.record.address.host !== record.address.host ||
   known.record.address.port !== record.address.port;
 
 /**
- * A registration that was written before an engine reported that it leaves does not take the report
- * back. A report may be that of an earlier life, so it does not hold for good.
+ * Reports whether the endpoint was recently reported as leaving. Such a report overrides a
+ * registration, which may have been written before it. It expires, since it may come from an
+ * earlier incarnation of the endpoint.
  */
-const isOlderThanReport = (known: KnownEndpoint, now: Millis): boolean =>
-  known.leavingAt !== null && now - known.leavingAt < LEAVING_HOLD_MS;
+const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
+  known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
 
 const registerEndpoint = (
   { endpoints }: MembershipState,
@@ -117,8 +122,8 @@
   now: Millis,
 ): Effects => {
   const known = endpoints.get(registered.id);
-  const isNew = known === undefined || isNewLife(known, registered);
-  const isLeaving = !isNew && isOlderThanReport(known, now);
+  const isNew = known === undefined || isNewIncarnation(known, registered);
+  const isLeaving = !isNew && hasValidLeavingReport(known, now);
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
@@ -129,11 +134,14 @@
   return [describeEndpoint(record, 'phase'), ...leaving];
 };
 
-const isCertain = ({ record, recordedAt }: KnownEndpoint, removals: RemovalTrust): boolean => {
+const isRemovalCertain = (
+  { record, recordedAt }: KnownEndpoint,
+  removals: RemovalCertainty,
+): boolean => {
   switch (removals.kind) {
     case 'certain':
       return true;
-    case 'doubtful':
+    case 'uncertain':
       return record.phase === 'leaving' || recordedAt > removals.since;
     default:
       return assertNever(removals);
@@ -143,19 +151,19 @@
 const removeEndpoint = (
   state: MembershipState,
   id: EndpointId,
-  removals: RemovalTrust,
+  removals: RemovalCertainty,
   now: Millis,
 ): Effects => {
   const { endpoints } = state;
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (isCertain(known, removals)) return pruneEndpoint(state, known, now);
+  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, now);
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
     {
       kind: 'schedule',
-      delayMs: DOUBTFUL_REMOVAL_MS,
+      delayMs: UNCERTAIN_REMOVAL_DELAY_MS,
       event: { to: 'membership', kind: 'removal-due', id, removedAt: now },
     },
   ];
@@ -188,7 +196,7 @@
 });
 
 const applyDataCentres = (
-  { out }: MembershipState,
+  { dataCentresOut }: MembershipState,
   changes: readonly RecordChange[],
   scope: 'all' | 'changed',
 ): Effects => {
@@ -197,35 +205,36 @@
   for (const change of changes) {
     if (change.kind === 'data-centre-out') {
       ordered.add(change.dataCentre);
-      if (!out.has(change.dataCentre)) effects.push(describeDataCentre(change.dataCentre, 'out'));
-      out.add(change.dataCentre);
-    } else if (change.kind === 'data-centre-in' && out.delete(change.dataCentre)) {
+      if (!dataCentresOut.has(change.dataCentre))
+        effects.push(describeDataCentre(change.dataCentre, 'out'));
+      dataCentresOut.add(change.dataCentre);
+    } else if (change.kind === 'data-centre-in' && dataCentresOut.delete(change.dataCentre)) {
       effects.push(describeDataCentre(change.dataCentre, 'in'));
     }
   }
   if (scope === 'changed') return effects;
-  for (const dataCentre of [...out].filter((name) => !ordered.has(name))) {
-    out.delete(dataCentre);
+  for (const dataCentre of [...dataCentresOut].filter((name) => !ordered.has(name))) {
+    dataCentresOut.delete(dataCentre);
     effects.push(describeDataCentre(dataCentre, 'in'));
   }
   return effects;
 };
 
-const applySign = (
+const applyObservation = (
   { endpoints }: MembershipState,
   id: EndpointId,
-  sign: AttemptObservation,
+  observation: AttemptObservation,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  const health = observeAttempt(known.health, sign, now);
+  const health = observeAttempt(known.health, observation, now);
   endpoints.set(id, { ...known, health });
   const isAvoided =
-    health.avoidUntil > now && known.health.avoidUntil <= now && sign.kind !== 'full';
+    health.avoidUntil > now && known.health.avoidUntil <= now && observation.kind !== 'full';
   if (!isAvoided) return [];
   const data = {
-    sign: sign.kind,
+    sign: observation.kind,
     failureRate: Math.round(health.failureRate * 100) / 100,
     forMs: Math.round(health.avoidUntil - now),
     recordAgeMs: Math.round(now - known.recordedAt),
@@ -233,7 +242,7 @@
   return [{ kind: 'log', name: 'endpoint-avoided', details: { endpoint: id, data } }];
 };
 
-const applyRemoval = (
+const applyDelayedRemoval = (
   state: MembershipState,
   id: EndpointId,
   removedAt: Millis,
@@ -244,8 +253,8 @@
   return pruneEndpoint(state, known, now);
 };
 
-const readReports = ({ endpoints }: MembershipState, watched: readonly EndpointId[]): Effects =>
-  watched.flatMap((endpoint): Effects => {
+const readReports = ({ endpoints }: MembershipState, polled: readonly EndpointId[]): Effects =>
+  polled.flatMap((endpoint): Effects => {
     const address = endpoints.get(endpoint)?.record.address;
     return address === undefined ? [] : [{ kind: 'read-report', endpoint, address }];
   });
@@ -264,20 +273,20 @@
 };
 
 /**
- * Creates the child that keeps the endpoints, their health as this daemon saw it, and the data
- * centres that operators took out.
+ * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
+ * observed by this daemon, and the data centres that operators took out.
  *
- * @param inputs - clock, and the engines to watch
- * @returns the decisions of the child
+ * @param inputs - clock, and the engines to poll
+ * @returns the decision logic
  */
 export const createMembershipLogic = ({
   clock,
-  listWatched,
+  listPolledEngines,
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
     toStep<MembershipState, GatewayEffect>(
-      { loaded: 'no', endpoints: new Map(), removed: new Map(), out: new Set() },
-      SCHEDULE_REPORTS,
+      { loaded: 'no', endpoints: new Map(), removed: new Map(), dataCentresOut: new Set() },
+      NEXT_REPORT_POLL,
     ),
   decide: (state, event) => {
     const now = clock.now();
@@ -290,13 +299,13 @@
       case 'data-centres-changed':
         return { state, effects: applyDataCentres(state, event.changes, event.scope) };
       case 'attempt-observed':
-        return { state, effects: applySign(state, event.endpoint, event.sign, now) };
+        return { state, effects: applyObservation(state, event.endpoint, event.sign, now) };
       case 'reports-due':
-        return { state, effects: [...readReports(state, listWatched()), SCHEDULE_REPORTS] };
+        return { state, effects: [...readReports(state, listPolledEngines()), NEXT_REPORT_POLL] };
       case 'report-read':
         return { state, effects: applyReport(state, event.endpoint, event.report, now) };
       case 'removal-due':
-        return { state, effects: applyRemoval(state, event.id, event.removedAt, now) };
+        return { state, effects: applyDelayedRemoval(state, event.id, event.removedAt, now) };
       default:
         return assertNever(event);
     }
--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -9,20 +9,20 @@
   readonly close: () => void;
 }
 
-const isRow = (value: unknown): boolean =>
+const isLoadRow = (value: unknown): boolean =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
   Number.isFinite(value[1]) &&
   Number.isFinite(value[2]) &&
   Number.isFinite(value[3]);
 
-const isCount = (value: unknown): boolean =>
+const isTransferRow = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
 
-const isTextList = (value: unknown): boolean =>
-  Array.isArray(value) && value.every((text) => typeof text === 'string');
+const isStringList = (value: unknown): boolean =>
+  Array.isArray(value) && value.every((item) => typeof item === 'string');
 
-const isPair = (value: unknown): boolean =>
+const isStringPair = (value: unknown): boolean =>
   Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'string';
 
 const isMessage = (value: unknown): value is PeerMessage => {
@@ -35,21 +35,21 @@
     format === 2 &&
     typeof process === 'string' &&
     Array.isArray(load) &&
-    load.every(isRow) &&
+    load.every(isLoadRow) &&
     Array.isArray(transfers) &&
-    transfers.every(isCount) &&
-    isTextList(hosts) &&
-    isTextList(leaving) &&
+    transfers.every(isTransferRow) &&
+    isStringList(hosts) &&
+    isStringList(leaving) &&
     Array.isArray(crashes) &&
-    crashes.every(isPair)
+    crashes.every(isStringPair)
   );
 };
 
 /**
- * Reads one datagram of another daemon.
+ * Decodes a datagram from another daemon.
  *
- * @param bytes - datagram
- * @returns the message, or null when it has another format
+ * @param bytes - payload of the datagram
+ * @returns the message, or null when it is invalid or has another format version
  */
 export const decodePeerMessage = (bytes: Uint8Array): PeerMessage | null => {
   const json = parseJsonBytes(bytes);
@@ -57,10 +57,10 @@
 };
 
 /**
- * Creates the socket for datagrams of other daemons; all daemons use the same port.
+ * Creates the socket for datagrams between daemons; all daemons use the same port.
  *
- * @param address - own address
- * @param onMessage - receives each readable message with the sender's host
+ * @param address - address of this daemon
+ * @param onMessage - receives each valid message with the sender's host
  * @param onError - receives errors of the socket
  * @returns the socket, not yet open
  */
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -1,16 +1,16 @@
 import {
   CRASH_REPEAT_MS,
   LEAVING_REPEAT_MS,
-  MAX_LOAD_ROWS,
-  MAX_NAMED_CRASHES,
-  MAX_NAMED_HOSTS,
-  MAX_NAMED_LEAVING,
+  MAX_REPORTED_LOAD_ROWS,
+  MAX_REPORTED_CRASHES,
+  MAX_REPORTED_HOSTS,
+  MAX_REPORTED_LEAVING,
   MAX_REPORT_TARGETS,
-  PEER_FORGET_MS,
-  PEER_LOAD_AGE_MS,
+  PEER_EXPIRY_MS,
+  MAX_PEER_LOAD_AGE_MS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
-  TURN_REPORTS,
+  MAX_MISSED_REPORTS,
 } from './constants.js';
 import type { LoadRow, Peer, PeerMessage } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -23,10 +23,10 @@
 import type { GatewayEffect, PeersEvent } from '../events.js';
 import { addLoads, NO_LOAD } from '../requests/load.js';
 
-/** Other gateway daemons; the map is updated in place by this child alone. */
+/** Other gateway daemons by host. Only the `peers` child updates the map, in place. */
 export interface PeersState {
   readonly peers: Map<string, Peer>;
-  readonly seedsAskedAt: Millis;
+  readonly seedsContactedAt: Millis;
 }
 
 export interface PeersInputs {
@@ -35,29 +35,32 @@
   readonly process: string;
   readonly ownHost: string;
   readonly getSeeds: () => readonly string[];
-  /** Work of this daemon by endpoint. */
+  /** Lists the load of this daemon's requests on each endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
-  /** Endpoints that this daemon has learnt to leave since an instant. */
+  /**
+   * Lists the endpoints of which this daemon learnt since an instant that they leave or were
+   * removed.
+   */
   readonly listLeaving: (since: Millis) => readonly EndpointId[];
   readonly listOwnTransfers: () => PeerMessage['transfers'];
-  /** Crashes that this daemon saw since an instant. */
+  /** Lists the crashes that this daemon observed since an instant, as fingerprint and endpoint. */
   readonly listCrashes: (since: Millis) => readonly (readonly [string, string])[];
-  /** Takes crashes that another daemon saw. */
+  /** Records a crash that another daemon observed. */
   readonly addCrash: (fingerprint: string, endpoint: string) => void;
 }
 
 /**
- * Sums the work of the peers on an endpoint.
+ * Sums the load of the peers on an endpoint.
  *
- * @param state - peers as they were last heard
- * @param endpoint - endpoint to sum for
- * @param now - current instant; older reports do not count
+ * @param state - peers and their last reports
+ * @param endpoint - endpoint of the load
+ * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
  * @returns the sum
  */
 export const sumPeerLoad = (state: PeersState, endpoint: EndpointId, now: Millis): EndpointLoad => {
   let sum = NO_LOAD;
-  for (const { heardAt, message } of state.peers.values()) {
-    if (now - heardAt > PEER_LOAD_AGE_MS) continue;
+  for (const { receivedAt, message } of state.peers.values()) {
+    if (now - receivedAt > MAX_PEER_LOAD_AGE_MS) continue;
     for (const row of message.load) {
       if (row[0] !== endpoint) continue;
       const [, requests, tokens, waitingTokens] = row;
@@ -68,55 +71,63 @@
 };
 
 /**
- * Counts the daemons that share a budget, this one included.
+ * Counts the daemons that share a retry budget, including this one.
  *
- * @param state - peers as they were last heard
- * @returns the number
+ * @param state - peers and their last reports
+ * @returns the number of daemons
  */
 export const countDaemons = (state: PeersState): number => state.peers.size + 1;
 
-/** A daemon's next generation to take from an endpoint that leaves. */
-export interface TransferTurn {
+/** Next transfer of a generation by a daemon from a leaving endpoint. */
+export interface PendingTransfer {
   readonly source: EndpointId;
-  readonly worth: number;
+  readonly priority: number;
   readonly process: string;
 }
 
 /**
- * Tells whether another daemon's generation goes first. The one with most worth does, as some may
- * be lost; the names decide between equals, so that all daemons agree.
+ * Reports whether another daemon transfers a generation from the same endpoint first. The highest
+ * priority goes first, since there may not be time for all transfers. The names of the daemons
+ * break ties, so that all daemons agree.
  *
- * @param state - peers as they were last heard
- * @param turn - this daemon's next generation
- * @param now - current instant; older reports do not count
- * @returns whether this daemon has to wait
+ * @param state - peers and their last reports
+ * @param transfer - this daemon's next transfer
+ * @param now - current instant; peers that missed `MAX_MISSED_REPORTS` reports do not count
+ * @returns true when this daemon has to wait
  */
-export const hasPeerBefore = (state: PeersState, turn: TransferTurn, now: Millis): boolean =>
+export const isPrecededByPeer = (
+  state: PeersState,
+  transfer: PendingTransfer,
+  now: Millis,
+): boolean =>
   [...state.peers.values()].some(
-    ({ heardAt, message }) =>
-      now - heardAt <= TURN_REPORTS * REPORT_INTERVAL_MS &&
+    ({ receivedAt, message }) =>
+      now - receivedAt <= MAX_MISSED_REPORTS * REPORT_INTERVAL_MS &&
       message.transfers.some(
-        ([source, worth]) =>
-          source === turn.source &&
-          (worth > turn.worth || (worth === turn.worth && message.process < turn.process)),
+        ([source, priority]) =>
+          source === transfer.source &&
+          (priority > transfer.priority ||
+            (priority === transfer.priority && message.process < transfer.process)),
       ),
   );
 
 /**
- * Counts the daemons that are heard now, this one included. One that is cut off from the others
- * cannot rely on what they learn.
+ * Counts the daemons whose reports arrive at present, including this one. A daemon that is cut off
+ * from the others cannot rely on what they learn.
  *
- * @param state - peers as they were last heard
- * @param now - current instant
- * @returns the number
+ * @param state - peers and their last reports
+ * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
+ * @returns the number of daemons
  */
-export const countHeard = (state: PeersState, now: Millis): number =>
-  1 + [...state.peers.values()].filter(({ heardAt }) => now - heardAt <= PEER_LOAD_AGE_MS).length;
+export const countReachableDaemons = (state: PeersState, now: Millis): number =>
+  1 +
+  [...state.peers.values()].filter(({ receivedAt }) => now - receivedAt <= MAX_PEER_LOAD_AGE_MS)
+    .length;
 
 const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
   const known = [...state.peers.values()].map(({ host }) => host);
-  const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
-  const seeds = isSeedTurn ? inputs.getSeeds() : [];
+  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
+  const seeds = isSeedContactDue ? inputs.getSeeds() : [];
   const all = [...new Set([...known, ...seeds])].filter((host) => host !== inputs.ownHost);
   if (all.length <= MAX_REPORT_TARGETS) return all;
   const start = Math.floor(inputs.random.next() * all.length);
@@ -127,10 +138,10 @@
   format: 2,
   process: inputs.process,
   transfers: inputs.listOwnTransfers(),
-  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_NAMED_LEAVING),
-  load: inputs.listOwnLoad().slice(0, MAX_LOAD_ROWS),
-  hosts: [...state.peers.values()].slice(0, MAX_NAMED_HOSTS).map(({ host }) => host),
-  crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_NAMED_CRASHES),
+  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_REPORTED_LEAVING),
+  load: inputs.listOwnLoad().slice(0, MAX_REPORTED_LOAD_ROWS),
+  hosts: [...state.peers.values()].slice(0, MAX_REPORTED_HOSTS).map(({ host }) => host),
+  crashes: inputs.listCrashes(now - CRASH_REPEAT_MS).slice(-MAX_REPORTED_CRASHES),
 });
 
 const sendReport = (state: PeersState, inputs: PeersInputs): GatewayEffect => {
@@ -139,13 +150,13 @@
   return { kind: 'send-peers', hosts, message: buildMessage(state, inputs, now) };
 };
 
-const report = (state: PeersState, inputs: PeersInputs) => {
+const handleReportDue = (state: PeersState, inputs: PeersInputs) => {
   const now = inputs.clock.now();
-  for (const [name, peer] of state.peers) {
-    if (now - peer.heardAt > PEER_FORGET_MS) state.peers.delete(name);
+  for (const [host, peer] of state.peers) {
+    if (now - peer.receivedAt > PEER_EXPIRY_MS) state.peers.delete(host);
   }
-  const isSeedTurn = now - state.seedsAskedAt >= SEED_INTERVAL_MS;
-  const next = isSeedTurn ? { ...state, seedsAskedAt: now } : state;
+  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
+  const next = isSeedContactDue ? { ...state, seedsContactedAt: now } : state;
   return toStep<PeersState, GatewayEffect>(
     next,
     {
@@ -159,17 +170,17 @@
 
 const receiveReport = (
   state: PeersState,
-  event: Extract<PeersEvent, { kind: 'peer-heard' }>,
+  event: Extract<PeersEvent, { kind: 'peer-report-received' }>,
   inputs: PeersInputs,
 ) => {
   const { host, message } = event;
   if (host === inputs.ownHost) return toStep<PeersState, GatewayEffect>(state);
   const now = inputs.clock.now();
   const known = state.peers.get(host);
-  state.peers.set(host, { host, heardAt: now, message });
+  state.peers.set(host, { host, receivedAt: now, message });
   for (const [fingerprint, endpoint] of message.crashes) inputs.addCrash(fingerprint, endpoint);
   const unknown = message.hosts.filter(
-    (named) => named !== inputs.ownHost && !state.peers.has(named),
+    (other) => other !== inputs.ownHost && !state.peers.has(other),
   );
   const effects: GatewayEffect[] =
     unknown.length === 0
@@ -193,27 +204,27 @@
 };
 
 /**
- * Creates the child that exchanges loads and crashes with the other gateway daemons. A lost
- * datagram costs freshness only.
+ * Creates the decision logic of the `peers` child, which exchanges reports with the other gateway
+ * daemons. A lost datagram only delays what the next report repeats.
  *
- * @param inputs - clock, addresses and the figures to report
- * @returns the decisions of the child
+ * @param inputs - clock, addresses and the contents of the reports
+ * @returns the decision logic
  */
 export const createPeersLogic = (
   inputs: PeersInputs,
 ): ChildLogic<PeersState, PeersEvent, GatewayEffect> => ({
   init: () =>
     toStep<PeersState, GatewayEffect>(
-      { peers: new Map(), seedsAskedAt: 0 },
+      { peers: new Map(), seedsContactedAt: 0 },
       { kind: 'post', event: { to: 'peers', kind: 'report-due' } },
     ),
   decide: (state, event) => {
     switch (event.kind) {
       case 'report-due':
-        return report(state, inputs);
+        return handleReportDue(state, inputs);
       case 'report-changed':
         return toStep<PeersState, GatewayEffect>(state, sendReport(state, inputs));
-      case 'peer-heard':
+      case 'peer-report-received':
         return receiveReport(state, event, inputs);
       default:
         return assertNever(event);
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -10,7 +10,7 @@
 import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createFailure } from '../core/verdict.js';
 
-/** Adapters that carry out the effects of a gateway daemon. */
+/** Adapters that perform the effects of a gateway daemon. */
 export interface GatewayAdapters {
   readonly loop: () => Loop<GatewayEvent>;
   readonly events: EventLog;
@@ -24,18 +24,18 @@
   readonly endProcess: (left: number) => void;
 }
 
-const LOST_REQUEST = createFailure(
+const REQUEST_STATE_LOST = createFailure(
   'may-have-run',
   'internal',
-  'the daemon lost the state of the request',
+  'the gateway daemon lost the state of the request',
 );
 
-const postFeed = (
+const postFeedResult = (
   feed: FeedName,
-  reading: Promise<FeedResult>,
+  pending: Promise<FeedResult>,
   adapters: GatewayAdapters,
 ): void => {
-  void reading.then((result) => {
+  void pending.then((result) => {
     adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
   });
 };
@@ -60,7 +60,7 @@
 };
 
 /**
- * Carries out one effect.
+ * Performs one effect.
  *
  * @param effect - effect of a decision
  * @param adapters - adapters of the daemon
@@ -84,10 +84,14 @@
       metrics.recordLatency(effect.name, effect.route, effect.duration);
       return;
     case 'load-feed':
-      postFeed(effect.feed, feeds.load(effect.feed), adapters);
+      postFeedResult(effect.feed, feeds.load(effect.feed), adapters);
       return;
     case 'read-feed':
-      postFeed(effect.feed, feeds.read(effect.feed, effect.position, effect.waitMs), adapters);
+      postFeedResult(
+        effect.feed,
+        feeds.read(effect.feed, effect.position, effect.waitMs),
+        adapters,
+      );
       return;
     case 'send-peers':
       peers.send(effect.hosts, effect.message);
@@ -112,7 +116,7 @@
       return;
     case 'write-answer':
       if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
-      // The caller reads too slowly to hold its stream here.
+      // Closes the stream, so that a slow caller does not fill the daemon's memory.
       responders.breakAnswer(effect.key);
       loop().post({ to: 'requests', kind: 'caller-gone', key: effect.key });
       return;
@@ -130,7 +134,7 @@
       return;
     case 'reset-requests':
       endpoints.close();
-      responders.failAll(LOST_REQUEST);
+      responders.refuseAll(REQUEST_STATE_LOST);
       return;
     case 'apply-limits':
       callers.applyLimits(effect.idleTimeoutMs, effect.headerTimeoutMs, effect.maxBodyBytes);
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -7,7 +7,7 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
 import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
-import type { FeedPace } from './feeds/feeds.js';
+import type { PacingInputs } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -18,7 +18,12 @@
 import { createMovesLogic } from './moves/moves.js';
 import { createCrashReports } from './peers/crashReports.js';
 import type { CrashReports } from './peers/crashReports.js';
-import { countDaemons, countHeard, createPeersLogic, hasPeerBefore } from './peers/peers.js';
+import {
+  countDaemons,
+  countReachableDaemons,
+  createPeersLogic,
+  isPrecededByPeer,
+} from './peers/peers.js';
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
@@ -49,19 +54,19 @@
 import type { ChildFailure } from '../core/supervision/types.js';
 import type { ForwardRequest } from '../decisions/forwarding/types.js';
 
-/** Why a daemon ends: its drain is over, or a fault left the supervisor tree. */
+/** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
 
-/** What a platform provides to a gateway daemon. */
+/** Adapters to the platform on which a gateway daemon runs. */
 export interface GatewayPorts {
   readonly codec: HeadCodec;
   readonly feeds: FeedReader;
   readonly engines: EngineControl;
 }
 
-/** Everything that one gateway daemon is made of. */
+/** Parts of a gateway daemon, by their names in the container. */
 export interface GatewayCradle {
   readonly settings: GatewaySettings;
   readonly ports: GatewayPorts;
@@ -69,7 +74,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly incarnation: string;
-  /** Replaced when the settings file changes. */
+  /** Live settings; `current` is replaced when the settings file changes. */
   readonly live: { current: LiveSettings };
   readonly states: GatewayStates;
   readonly events: EventLog;
@@ -115,8 +120,8 @@
     responders: cradle.responders,
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
-    postGone: (key) => {
-      cradle.responders.forget(key);
+    postDisconnect: (key) => {
+      cradle.responders.remove(key);
       cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', key });
     },
   });
@@ -130,7 +135,7 @@
   createPeerSocket(
     cradle.settings.peers,
     (host, message) => {
-      cradle.daemon.loop.post({ to: 'peers', kind: 'peer-heard', host, message });
+      cradle.daemon.loop.post({ to: 'peers', kind: 'peer-report-received', host, message });
     },
     (error) => {
       cradle.events.record('peer-unreachable', { data: { error: error.message } });
@@ -139,9 +144,9 @@
 
 const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
   const { clock, crashes, live, random, settings, states } = cradle;
-  const getPace = (): FeedPace => ({
-    daemons: countHeard(states.peers, clock.now()),
-    learnWithin: live.current.learnWithin,
+  const getPacingInputs = (): PacingInputs => ({
+    daemons: countReachableDaemons(states.peers, clock.now()),
+    stalenessLimits: live.current.learnWithin,
   });
   return {
     requests: createRequestsLogic({
@@ -151,8 +156,12 @@
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
-      hasPeerBefore: (source, worth) =>
-        hasPeerBefore(states.peers, { source, worth, process: settings.process }, clock.now()),
+      hasPeerBefore: (source, priority) =>
+        isPrecededByPeer(
+          states.peers,
+          { source, priority, process: settings.process },
+          clock.now(),
+        ),
       getLive: () => live.current,
       crashes: crashes.table,
       addOwnCrash: crashes.addOwn,
@@ -174,18 +183,18 @@
       listLeaving: (since) => listLeaving(states.membership, since),
       listOwnTransfers: () => [...listOwnTransfers(states.requests, clock.now())],
       listCrashes: crashes.listSince,
-      addCrash: crashes.addHeard,
+      addCrash: crashes.addFromPeer,
     }),
     configuration: createConfigurationLogic(),
     membership: createMembershipLogic({
       clock,
-      listWatched: () =>
-        isFeedStale(states.feeds.registrations, clock.now(), getPace())
+      listPolledEngines: () =>
+        isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listStreaming(states.requests)
           : [],
     }),
     moves: createMovesLogic(),
-    feeds: createFeedsLogic({ clock, getPace }),
+    feeds: createFeedsLogic({ clock, getPacingInputs }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
@@ -232,9 +241,9 @@
 /**
  * Wires the parts of a gateway daemon.
  *
- * @param settings - checked settings
- * @param ports - what the platform provides
- * @param onEnd - called when the daemon wants its process to end
+ * @param settings - validated settings
+ * @param ports - adapters to the platform
+ * @param onEnd - called when the process of the daemon should end
  * @returns the container
  */
 export const wireGateway = (
@@ -253,7 +262,8 @@
       createRandomSource(Math.floor(Math.random() * SEED_RANGE)),
     ).singleton(),
     incarnation: asFunction(createId).singleton(),
-    // Each child publishes its state before anything reads it: they start in the declared order.
+    // Empty at first: the children start in the declared order, and each publishes its state before
+    // anything reads it.
     states: asValue({} as GatewayStates),
     events: asFunction(buildEvents).singleton(),
     metrics: asFunction(createDeferredMetrics).singleton(),
