--- a/packages/standins/common/exchange.ts
+++ b/packages/standins/common/exchange.ts
@@ -10,7 +10,7 @@
 }
 
 /** Requests that wait for an effect of the decisions to answer them. */
-export interface Exchange {
+export interface PendingRequests {
   /** Registers a request, posts its event and waits for the answer. */
   readonly handle: (
     request: FastifyRequest,
@@ -22,7 +22,7 @@
   readonly drop: (id: ReplyId) => void;
 }
 
-interface Waiting {
+interface PendingRequest {
   readonly request: FastifyRequest;
   readonly settle: (answer: Answer | 'dropped') => void;
 }
@@ -32,13 +32,13 @@
  *
  * @returns the empty register
  */
-export const createExchange = (): Exchange => {
-  const waiting = new Map<ReplyId, Waiting>();
+export const createPendingRequests = (): PendingRequests => {
+  const pending = new Map<ReplyId, PendingRequest>();
   let lastId = 0;
 
   const settle = (id: ReplyId, outcome: Answer | 'dropped'): void => {
-    const entry = waiting.get(id);
-    waiting.delete(id);
+    const entry = pending.get(id);
+    pending.delete(id);
     if (outcome === 'dropped') entry?.request.raw.socket.destroy();
     entry?.settle(outcome);
   };
@@ -48,7 +48,7 @@
       lastId += 1;
       const id = lastId;
       const outcome = await new Promise<Answer | 'dropped'>((resolve) => {
-        waiting.set(id, { request, settle: resolve });
+        pending.set(id, { request, settle: resolve });
         post(id);
       });
       if (outcome === 'dropped') return reply.hijack();
--- a/packages/standins/common/listener.ts
+++ b/packages/standins/common/listener.ts
@@ -21,7 +21,7 @@
 
 const isExempt = (url: string): boolean => url.startsWith('/faults') || url.startsWith('/standin/');
 
-const registerErrors = (app: FastifyInstance): void => {
+const registerErrorHandler = (app: FastifyInstance): void => {
   app.setErrorHandler((error: Error & { statusCode?: number }, _request, reply: FastifyReply) => {
     const status = error instanceof ZodError ? 400 : (error.statusCode ?? 500);
     return reply.code(status).send({ error: { message: error.message, type: 'invalid_request' } });
@@ -45,9 +45,9 @@
     sockets.set(socket, 'ordinary');
     socket.once('close', () => sockets.delete(socket));
   });
-  registerErrors(app);
+  registerErrorHandler(app);
 
-  const waitUntilThawed = async (): Promise<void> => {
+  const waitWhileFrozen = async (): Promise<void> => {
     while (performance.now() < frozenUntil) {
       await new Promise<void>((resolve) => {
         const timer = setTimeout(
@@ -66,7 +66,7 @@
     const exempt = isExempt(request.url);
     sockets.set(request.raw.socket, exempt ? 'exempt' : 'ordinary');
     if (exempt) return;
-    await waitUntilThawed();
+    await waitWhileFrozen();
     if (performance.now() >= downUntil) return;
     reply.hijack();
     request.raw.socket.destroy();
--- a/packages/standins/common/rateLimit.ts
+++ b/packages/standins/common/rateLimit.ts
@@ -1,14 +1,14 @@
 import type { Millis } from '../../core/clock.js';
 
 /** Allowance of a rate limit that refills evenly. */
-export interface Allowance {
+export interface TokenBucket {
   readonly left: number;
   readonly at: Millis;
 }
 
-export type RateDecision =
-  | { readonly kind: 'allowed'; readonly allowance: Allowance }
-  | { readonly kind: 'limited'; readonly allowance: Allowance; readonly retryAfterMs: Millis };
+export type RateLimitDecision =
+  | { readonly kind: 'allowed'; readonly bucket: TokenBucket }
+  | { readonly kind: 'limited'; readonly bucket: TokenBucket; readonly retryAfterMs: Millis };
 
 /**
  * Takes one request from an allowance.
@@ -19,17 +19,17 @@
  * @param now - current instant
  * @returns whether the request may pass, with the next allowance
  */
-export const takeAllowance = (
-  allowance: Allowance,
+export const takeFromBucket = (
+  bucket: TokenBucket,
   perSecond: number,
   burst: number,
   now: Millis,
-): RateDecision => {
-  const left = Math.min(burst, allowance.left + ((now - allowance.at) / 1_000) * perSecond);
-  if (left >= 1) return { kind: 'allowed', allowance: { left: left - 1, at: now } };
+): RateLimitDecision => {
+  const left = Math.min(burst, bucket.left + ((now - bucket.at) / 1_000) * perSecond);
+  if (left >= 1) return { kind: 'allowed', bucket: { left: left - 1, at: now } };
   return {
     kind: 'limited',
-    allowance: { left, at: now },
+    bucket: { left, at: now },
     retryAfterMs: Math.ceil(((1 - left) / perSecond) * 1_000),
   };
 };
--- a/packages/standins/common/routedDaemon.ts
+++ b/packages/standins/common/routedDaemon.ts
@@ -1,4 +1,4 @@
-import type { Exchange } from './exchange.js';
+import type { PendingRequests } from './exchange.js';
 import type { Answer, ReplyId } from './exchange.js';
 import type { Listener } from './listener.js';
 import type { Standin } from './types.js';
@@ -22,7 +22,7 @@
 
 /** What carries out the common effects. */
 export interface CommonAdapters<Event> {
-  readonly exchange: Exchange;
+  readonly pendingRequests: PendingRequests;
   readonly listener: Listener;
   readonly loop: Loop<Event>;
 }
@@ -49,14 +49,14 @@
  */
 export const performCommonEffect = <Event>(
   effect: CommonEffect<Event>,
-  { exchange, listener, loop }: CommonAdapters<Event>,
+  { pendingRequests, listener, loop }: CommonAdapters<Event>,
 ): void => {
   switch (effect.kind) {
     case 'answer':
-      exchange.answer(effect.reply, effect.answer);
+      pendingRequests.answer(effect.reply, effect.answer);
       return;
     case 'drop':
-      exchange.drop(effect.reply);
+      pendingRequests.drop(effect.reply);
       return;
     case 'schedule':
       loop.schedule(effect.delayMs, effect.event);
--- a/packages/standins/engine/constants.ts
+++ b/packages/standins/engine/constants.ts
@@ -34,10 +34,10 @@
 export const CHARACTERS_PER_TOKEN = 4;
 
 /** Cache events that the engine keeps for late readers. */
-export const CACHE_EVENTS_KEPT = 4_096;
+export const MAX_CACHE_EVENTS = 4_096;
 
 /** Requests whose executions are counted one by one in the statistics. */
-export const COUNTED_REQUESTS = 100_000;
+export const MAX_COUNTED_REQUESTS = 100_000;
 
 /** Lateness of a timer that the next step makes up for. */
 export const MAX_TIMER_LAG_MS = 20;
--- a/packages/standins/engine/engineParts.test.ts
+++ b/packages/standins/engine/engineParts.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import { decideControl } from './control/controlChild.js';
 import { buildPrompt, computeOutputTokens, hashPromptPrefix, renderToken } from './prompts.js';
-import { EMPTY_CACHE_LOG, readCacheEvents, recordChanges } from './scheduler/cacheLog.js';
-import { computeBearing } from './scheduler/ramp.js';
+import { EMPTY_CACHE_LOG, readCacheEvents, appendCacheEvents } from './scheduler/cacheLog.js';
+import { computeConcurrencyLimit } from './scheduler/ramp.js';
 import { CHAT_SCHEMA } from './schemas.js';
 import { buildSubmission } from './submission.js';
 import { DEFAULT_ENGINE_SETTINGS } from './constants.js';
@@ -60,7 +60,7 @@
     kind: 'stored' as const,
     prefix: index.toString(),
   }));
-  const log = recordChanges(EMPTY_CACHE_LOG, changes, 0.1, createRandomSource(1).next, 1_000);
+  const log = appendCacheEvents(EMPTY_CACHE_LOG, changes, 0.1, createRandomSource(1).next, 1_000);
   t.is(log.nextSequence, 200);
   t.true(log.events.length < 200 && log.events.length > 150);
   t.deepEqual(readCacheEvents(log, 0, 500, 1_499), { events: [], next: 0 });
@@ -72,9 +72,9 @@
 // Guards against a ramp that starts too high or never ends.
 test('the bearable concurrency grows from the cold value until the engine is warm', (t) => {
   const ramp = { coldConcurrency: 2, warmConcurrency: 12, rampMs: 1_000 };
-  t.deepEqual(computeBearing(500, ramp, 500), { kind: 'cold', concurrency: 2 });
-  t.deepEqual(computeBearing(500, ramp, 1_000), { kind: 'cold', concurrency: 7 });
-  t.deepEqual(computeBearing(500, ramp, 1_500), { kind: 'warm' });
+  t.deepEqual(computeConcurrencyLimit(500, ramp, 500), { kind: 'cold', concurrency: 2 });
+  t.deepEqual(computeConcurrencyLimit(500, ramp, 1_000), { kind: 'cold', concurrency: 7 });
+  t.deepEqual(computeConcurrencyLimit(500, ramp, 1_500), { kind: 'warm' });
 });
 
 // Guards against a stand-in that refuses old orders where a real endpoint would obey them.
--- a/packages/standins/engine/faults.ts
+++ b/packages/standins/engine/faults.ts
@@ -36,14 +36,14 @@
 export type EngineFault = z.infer<typeof ENGINE_FAULT_SCHEMA>;
 
 /** Faults that stay until they are cleared; restarts of the engine keep them. */
-export type LastingFault = Extract<
+export type PersistentFault = Extract<
   EngineFault,
   { kind: 'slow' | 'error-rate' | 'errors-under-load' | 'crash-on-content' | 'set-health' }
 >;
 
 /** A lasting fault with the end of its effect. */
 export interface ActiveFault {
-  readonly fault: LastingFault;
+  readonly fault: PersistentFault;
   readonly until: Millis;
 }
 
@@ -66,7 +66,7 @@
  */
 export const addFault = (
   active: readonly ActiveFault[],
-  fault: LastingFault,
+  fault: PersistentFault,
   now: Millis,
 ): readonly ActiveFault[] => {
   const others = active.filter(({ fault: known }) => {
@@ -78,8 +78,8 @@
   return [...others, { fault, until: forMs === undefined ? Infinity : now + forMs }];
 };
 
-const decideOne = (
-  fault: LastingFault,
+const decideSingleFault = (
+  fault: PersistentFault,
   submission: Submission,
   running: number,
   draw: () => number,
@@ -121,7 +121,7 @@
   draw: () => number,
 ): FaultDecision => {
   for (const { fault } of active) {
-    const decision = decideOne(fault, submission, running, draw);
+    const decision = decideSingleFault(fault, submission, running, draw);
     if (decision.kind !== 'pass') return decision;
   }
   return PASS;
--- a/packages/standins/engine/outputs.ts
+++ b/packages/standins/engine/outputs.ts
@@ -15,7 +15,7 @@
     sequence: SequenceId,
     reply: FastifyReply,
     mode: OutputMode,
-    onGone: () => void,
+    onDisconnect: () => void,
   ) => void;
   readonly emit: (sequence: SequenceId, index: number) => void;
   readonly finish: (sequence: SequenceId, reason: FinishReason, usage: Usage) => void;
@@ -24,7 +24,7 @@
 }
 
 /** Names that each answer carries. */
-export interface OutputNames {
+export interface OutputMetadata {
   readonly model: string;
   readonly getVersion: () => string;
 }
@@ -54,17 +54,22 @@
  * Creates the register of answers in progress. Answers are written to the raw response, because
  * tokens come from effects of the loop and not from the request's handler.
  *
- * @param names - model and version
+ * @param metadata - model and version
  * @returns the empty register
  */
-export const createOutputs = (names: OutputNames): Outputs => {
+export const createOutputs = (metadata: OutputMetadata): Outputs => {
   const outputs = new Map<SequenceId, Output>();
 
-  const buildRecord = (id: SequenceId, output: Output, object: string, rest: object): object => ({
+  const buildCompletion = (
+    id: SequenceId,
+    output: Output,
+    object: string,
+    rest: object,
+  ): object => ({
     id: `chatcmpl-${id}`,
     object,
     created: output.created,
-    model: names.model,
+    model: metadata.model,
     system_fingerprint: output.version,
     ...rest,
   });
@@ -74,7 +79,7 @@
     if (!raw.headersSent) {
       raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
     }
-    const chunk = buildRecord(id, output, 'chat.completion.chunk', rest);
+    const chunk = buildCompletion(id, output, 'chat.completion.chunk', rest);
     raw.write(`data: ${JSON.stringify(chunk)}\n\n`);
   };
 
@@ -97,23 +102,23 @@
   ): void => {
     const message = { role: 'assistant', content: output.text };
     const choices = [{ index: 0, message, finish_reason: reason }];
-    const body = buildRecord(id, output, 'chat.completion', { choices, usage: toUsage(usage) });
+    const body = buildCompletion(id, output, 'chat.completion', { choices, usage: toUsage(usage) });
     sendJson(output, 200, body);
   };
 
-  const take = (id: SequenceId): Output | undefined => {
+  const takeOutput = (id: SequenceId): Output | undefined => {
     const output = outputs.get(id);
     outputs.delete(id);
     return output;
   };
 
   return {
-    open: (id, reply, mode, onGone) => {
+    open: (id, reply, mode, onDisconnect) => {
       reply.hijack();
       const created = Math.floor(Date.now() / 1_000);
-      outputs.set(id, { reply, mode, created, version: names.getVersion(), text: '' });
+      outputs.set(id, { reply, mode, created, version: metadata.getVersion(), text: '' });
       reply.raw.once('close', () => {
-        if (outputs.delete(id)) onGone();
+        if (outputs.delete(id)) onDisconnect();
       });
     },
     emit: (id, index) => {
@@ -135,7 +140,7 @@
       }
     },
     finish: (id, reason, usage) => {
-      const output = take(id);
+      const output = takeOutput(id);
       if (output === undefined) return;
       if (output.mode.kind === 'whole') finishWhole(id, output, reason, usage);
       else
@@ -147,13 +152,13 @@
         );
     },
     refuse: (id, status, message) => {
-      const output = take(id);
+      const output = takeOutput(id);
       if (output !== undefined) {
         sendJson(output, status, { error: { message, type: 'engine_error', code: status } });
       }
     },
     break: (id) => {
-      take(id)?.reply.raw.destroy();
+      takeOutput(id)?.reply.raw.destroy();
     },
   };
 };
--- a/packages/standins/engine/pages.ts
+++ b/packages/standins/engine/pages.ts
@@ -20,20 +20,20 @@
 
 const createMetrics = (views: EngineViews): Registry => {
   const registry = new Registry();
-  for (const [name, measureValue] of Object.entries(METRICS)) {
+  for (const [name, readValue] of Object.entries(METRICS)) {
     const gauge = new Gauge({
       name,
       help: name.replaceAll('_', ' '),
       registers: [registry],
       collect: () => {
-        gauge.set(measureValue(views.scheduler.get()));
+        gauge.set(readValue(views.scheduler.get()));
       },
     });
   }
   return registry;
 };
 
-const registerHealthPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
+const registerHealthRoutes = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
   app.get('/health', async () => {
     const state = views.scheduler.get();
     return {
@@ -63,9 +63,13 @@
  * @param views - states to read
  * @param clock - current time
  */
-export const registerPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
+export const registerStatusRoutes = (
+  app: FastifyInstance,
+  views: EngineViews,
+  clock: Clock,
+): void => {
   const metrics = createMetrics(views);
-  registerHealthPages(app, views, clock);
+  registerHealthRoutes(app, views, clock);
   app.get('/metrics', async (_request, reply) =>
     reply.type(metrics.contentType).send(await metrics.metrics()),
   );
@@ -89,6 +93,6 @@
   app.get('/standin/stats', async () => ({
     ...buildCounters(),
     control: views.control.get(),
-    requests: views.scheduler.get().counts.list(),
+    requests: views.scheduler.get().requestCounts.list(),
   }));
 };
--- a/packages/standins/engine/prompts.ts
+++ b/packages/standins/engine/prompts.ts
@@ -57,8 +57,8 @@
  * @returns tokens, at least one; the same for the same prompt and seed
  */
 export const computeOutputTokens = (prompt: string, seed: number, meanTokens: number): number => {
-  const share = createSeededSource(seed, prompt).next();
-  return Math.max(1, Math.round(-Math.log(1 - share) * meanTokens));
+  const uniform = createSeededSource(seed, prompt).next();
+  return Math.max(1, Math.round(-Math.log(1 - uniform) * meanTokens));
 };
 
 /**
--- a/packages/standins/engine/scheduler/batch.test.ts
+++ b/packages/standins/engine/scheduler/batch.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { addWaiting, countUsedTokens, planStep, settleStep } from './batch.js';
+import { addWaiting, countUsedTokens, planStep, finishStep } from './batch.js';
 import type { Batch } from './batch.js';
 import { countCachedTokens } from './prefixCache.js';
 import { DEFAULT_ENGINE_SETTINGS } from '../constants.js';
@@ -51,11 +51,11 @@
     for (let now = 0; batch.running.length + batch.waiting.length > 0; now += 1) {
       if (now > 5_000) throw new Error('the batch makes no progress');
       const plan = planStep(batch, settings, now);
-      const settled = settleStep(plan.batch, settings, now);
-      batch = settled.batch;
+      const result = finishStep(plan.batch, settings, now);
+      batch = result.batch;
       const held = countUsedTokens(batch.running) + countCachedTokens(batch.cache);
       if (held > settings.memoryTokens) throw new Error(`${held.toString()} tokens are held`);
-      for (const { id, generated } of settled.emitted) {
+      for (const { id, generated } of result.emitted) {
         if (generated !== (tokens.get(id) ?? 0) + 1) throw new Error(`token of ${id} out of order`);
         tokens.set(id, generated);
       }
@@ -93,9 +93,9 @@
   const waiting = [createSequence(0, { generated: 5, stalledSince: 100 })];
   const plan = planStep({ ...EMPTY, waiting }, settings, 300);
   t.true(plan.durationMs >= settings.prefillMsPerToken * 15);
-  const settled = settleStep(plan.batch, settings, 350);
-  t.is(settled.emitted[0]?.generated, 6);
-  t.is(settled.stalledMs, 250);
+  const result = finishStep(plan.batch, settings, 350);
+  t.is(result.emitted[0]?.generated, 6);
+  t.is(result.stalledMs, 250);
 });
 
 // Guards against an urgent request that queues behind background work.
@@ -113,7 +113,7 @@
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 100, cachedPrefixTokens: 40 };
   const prompt = { promptTokens: 50, prefix: 'shared', targetTokens: 1 };
   const cold = planStep(buildBatch([createSequence(0, prompt)]), settings, 0);
-  const { batch, changes } = settleStep(cold.batch, settings, 1);
+  const { batch, changes } = finishStep(cold.batch, settings, 1);
   t.deepEqual(changes, [{ kind: 'stored', prefix: 'shared' }]);
   const warm = planStep(addWaiting(batch, createSequence(1, prompt)), settings, 2);
   t.is(warm.batch.running[0]?.cachedTokens, 40);
@@ -126,6 +126,6 @@
 test('a sequence alone in full memory ends with its length', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 20 };
   const running = [createSequence(0, { generated: 9, targetTokens: 500 })];
-  const settled = settleStep(planStep({ ...EMPTY, running }, settings, 0).batch, settings, 1);
-  t.deepEqual(listIds(settled.finished), ['s0']);
+  const result = finishStep(planStep({ ...EMPTY, running }, settings, 0).batch, settings, 1);
+  t.deepEqual(listIds(result.finished), ['s0']);
 });
--- a/packages/standins/engine/scheduler/batch.ts
+++ b/packages/standins/engine/scheduler/batch.ts
@@ -32,7 +32,7 @@
 }
 
 /** Result of a step at its end. */
-export interface SettledStep {
+export interface StepResult {
   readonly batch: Batch;
   /** Sequences that got a token, as they are after it. */
   readonly emitted: readonly Sequence[];
@@ -72,25 +72,25 @@
  * @returns the batch with the sequence in its place
  */
 export const addWaiting = (batch: Batch, sequence: Sequence): Batch => {
-  const place = batch.waiting.findIndex((other) => compareUrgency(sequence, other) < 0);
-  const index = place === -1 ? batch.waiting.length : place;
+  const position = batch.waiting.findIndex((other) => compareUrgency(sequence, other) < 0);
+  const index = position === -1 ? batch.waiting.length : position;
   return { ...batch, waiting: batch.waiting.toSpliced(index, 0, sequence) };
 };
 
 /** Work in progress on one plan. */
-interface Draft {
+interface StepDraft {
   readonly batch: Batch;
   readonly preempted: readonly Sequence[];
   readonly changes: readonly CacheChange[];
 }
 
-const releaseCache = (draft: Draft, neededTokens: number): Draft => {
+const releaseCache = (draft: StepDraft, neededTokens: number): StepDraft => {
   const { cache, evicted } = pruneCache(draft.batch.cache, neededTokens);
   const changes = evicted.map(({ prefix }) => ({ kind: 'evicted', prefix }) as const);
   return { ...draft, batch: { ...draft.batch, cache }, changes: [...draft.changes, ...changes] };
 };
 
-const releaseSequence = (draft: Draft, victim: Sequence, now: Millis): Draft => {
+const releaseSequence = (draft: StepDraft, victim: Sequence, now: Millis): StepDraft => {
   const { stalledSince } = victim;
   const stalled: Sequence = {
     ...victim,
@@ -102,15 +102,15 @@
   return { ...draft, batch, preempted: [...draft.preempted, stalled] };
 };
 
-const countMissing = (batch: Batch, neededTokens: number, memoryTokens: number): number =>
+const countMissingTokens = (batch: Batch, neededTokens: number, memoryTokens: number): number =>
   countUsedTokens(batch.running) + countCachedTokens(batch.cache) + neededTokens - memoryTokens;
 
 /** Makes room for the next token of each running sequence. */
-const releaseForGrowth = (start: Draft, settings: BatchSettings, now: Millis): Draft => {
+const releaseForGrowth = (start: StepDraft, settings: BatchSettings, now: Millis): StepDraft => {
   let draft = start;
   for (;;) {
     const { running, cache } = draft.batch;
-    const missing = countMissing(draft.batch, running.length, settings.memoryTokens);
+    const missing = countMissingTokens(draft.batch, running.length, settings.memoryTokens);
     if (missing <= 0) return draft;
     const victim = findLeastUrgent(running);
     if (cache.length > 0) draft = releaseCache(draft, missing);
@@ -120,7 +120,11 @@
   }
 };
 
-const admitSequence = (draft: Draft, sequence: Sequence, settings: BatchSettings): Draft => {
+const admitSequence = (
+  draft: StepDraft,
+  sequence: Sequence,
+  settings: BatchSettings,
+): StepDraft => {
   const { batch } = draft;
   const held = sequence.promptTokens + sequence.generated;
   const cachedTokens = Math.min(
@@ -133,30 +137,30 @@
     batch: { ...batch, cache: updateRecency(batch.cache, sequence.prefix) },
   };
   const needed = held + batch.running.length + 1;
-  const roomy = releaseCache(recent, countMissing(batch, needed, settings.memoryTokens));
+  const freed = releaseCache(recent, countMissingTokens(batch, needed, settings.memoryTokens));
   return {
-    ...roomy,
+    ...freed,
     batch: {
-      ...roomy.batch,
-      running: [...roomy.batch.running, admitted],
-      waiting: roomy.batch.waiting.filter((other) => other !== sequence),
+      ...freed.batch,
+      running: [...freed.batch.running, admitted],
+      waiting: freed.batch.waiting.filter((other) => other !== sequence),
     },
   };
 };
 
-const hasRoom = (batch: Batch, sequence: Sequence, settings: BatchSettings): boolean => {
+const hasCapacity = (batch: Batch, sequence: Sequence, settings: BatchSettings): boolean => {
   if (batch.running.length >= settings.maxRunning) return false;
   const needed = sequence.promptTokens + sequence.generated + batch.running.length + 1;
   return countUsedTokens(batch.running) + needed <= settings.memoryTokens;
 };
 
 /** Admits waiting sequences in order, at the cost of less important ones where memory is full. */
-const admitWaiting = (start: Draft, settings: BatchSettings, now: Millis): Draft => {
+const admitWaiting = (start: StepDraft, settings: BatchSettings, now: Millis): StepDraft => {
   let draft = start;
   for (;;) {
     const next = draft.batch.waiting[0];
     if (next === undefined) return draft;
-    if (hasRoom(draft.batch, next, settings)) {
+    if (hasCapacity(draft.batch, next, settings)) {
       draft = admitSequence(draft, next, settings);
       continue;
     }
@@ -189,10 +193,11 @@
  * @returns the batch of the step and the time that it takes
  */
 export const planStep = (batch: Batch, settings: BatchSettings, now: Millis): PlannedStep => {
-  const grown = releaseForGrowth({ batch, preempted: [], changes: [] }, settings, now);
+  const afterGrowth = releaseForGrowth({ batch, preempted: [], changes: [] }, settings, now);
   // After a preemption nothing is admitted, or the freed memory would go to the next in line and
   // the step after it would preempt again.
-  const draft = grown.preempted.length > 0 ? grown : admitWaiting(grown, settings, now);
+  const draft =
+    afterGrowth.preempted.length > 0 ? afterGrowth : admitWaiting(afterGrowth, settings, now);
   const { running, computed } = planPrefill(draft.batch.running, settings.prefillTokensPerStep);
   const durationMs =
     settings.stepBaseMs +
@@ -210,13 +215,13 @@
   const changes: CacheChange[] = [];
   for (const { prefix, promptTokens } of computed) {
     const tokens = Math.min(promptTokens, settings.cachedPrefixTokens);
-    const isKnown = findCachedTokens(cache, prefix) > 0;
-    const missing = countMissing(
+    const isCached = findCachedTokens(cache, prefix) > 0;
+    const missing = countMissingTokens(
       { ...batch, cache },
       tokens + batch.running.length,
       settings.memoryTokens,
     );
-    if (isKnown || missing > 0) continue;
+    if (isCached || missing > 0) continue;
     cache = [...cache, { prefix, tokens }];
     changes.push({ kind: 'stored', prefix });
   }
@@ -236,7 +241,7 @@
  * @param now - end of the step
  * @returns the batch after the step and what it produced
  */
-export const settleStep = (batch: Batch, settings: BatchSettings, now: Millis): SettledStep => {
+export const finishStep = (batch: Batch, settings: BatchSettings, now: Millis): StepResult => {
   const ready = batch.running.filter(({ prefillLeft }) => prefillLeft === 0);
   const stalledMs = ready.reduce(
     (sum, { stalledSince }) => sum + (stalledSince === 'not-stalled' ? 0 : now - stalledSince),
@@ -250,7 +255,7 @@
   const emitted = stepped.filter(({ prefillLeft }) => prefillLeft === 0);
   const finished = emitted.filter((sequence) => isFinished(sequence, settings));
   const running = stepped.filter((sequence) => !finished.includes(sequence));
-  const first = emitted.filter(({ generated }) => generated === 1);
-  const { cache, changes } = updateCache({ ...batch, running }, first, settings);
+  const prefilled = emitted.filter(({ generated }) => generated === 1);
+  const { cache, changes } = updateCache({ ...batch, running }, prefilled, settings);
   return { batch: { ...batch, running, cache }, emitted, finished, changes, stalledMs };
 };
--- a/packages/standins/engine/scheduler/cacheLog.ts
+++ b/packages/standins/engine/scheduler/cacheLog.ts
@@ -1,5 +1,5 @@
 import type { CacheChange } from './prefixCache.js';
-import { CACHE_EVENTS_KEPT } from '../constants.js';
+import { MAX_CACHE_EVENTS } from '../constants.js';
 import type { Millis } from '../../../core/clock.js';
 
 /** One event as readers see it. */
@@ -26,7 +26,7 @@
  * @param now - instant of the changes
  * @returns the log with the changes that were kept
  */
-export const recordChanges = (
+export const appendCacheEvents = (
   log: CacheLog,
   changes: readonly CacheChange[],
   lossShare: number,
@@ -41,7 +41,7 @@
   }));
   const kept = numbered.filter(() => draw() >= lossShare);
   return {
-    events: [...log.events, ...kept].slice(-CACHE_EVENTS_KEPT),
+    events: [...log.events, ...kept].slice(-MAX_CACHE_EVENTS),
     nextSequence: log.nextSequence + changes.length,
   };
 };
--- a/packages/standins/engine/scheduler/ramp.ts
+++ b/packages/standins/engine/scheduler/ramp.ts
@@ -4,7 +4,7 @@
 type RampSettings = Pick<EngineSettings, 'coldConcurrency' | 'warmConcurrency' | 'rampMs'>;
 
 /** Sequences that an engine bears; a warm engine queues what is too much. */
-export type Bearing =
+export type ConcurrencyLimit =
   { readonly kind: 'cold'; readonly concurrency: number } | { readonly kind: 'warm' };
 
 /**
@@ -15,9 +15,14 @@
  * @param now - current instant
  * @returns the number of sequences while the engine is cold
  */
-export const computeBearing = (readyAt: Millis, settings: RampSettings, now: Millis): Bearing => {
+export const computeConcurrencyLimit = (
+  readyAt: Millis,
+  settings: RampSettings,
+  now: Millis,
+): ConcurrencyLimit => {
   const elapsed = Math.max(0, now - readyAt);
   if (elapsed >= settings.rampMs) return { kind: 'warm' };
-  const grown = ((settings.warmConcurrency - settings.coldConcurrency) * elapsed) / settings.rampMs;
-  return { kind: 'cold', concurrency: Math.floor(settings.coldConcurrency + grown) };
+  const increase =
+    ((settings.warmConcurrency - settings.coldConcurrency) * elapsed) / settings.rampMs;
+  return { kind: 'cold', concurrency: Math.floor(settings.coldConcurrency + increase) };
 };
--- a/packages/standins/engine/scheduler/requestCounts.ts
+++ b/packages/standins/engine/scheduler/requestCounts.ts
@@ -1,4 +1,4 @@
-import { COUNTED_REQUESTS } from '../constants.js';
+import { MAX_COUNTED_REQUESTS } from '../constants.js';
 
 /**
  * Executions per request id. A run can have tens of thousands of requests, so the counts are
@@ -19,7 +19,7 @@
   return {
     add: (requestId) => {
       counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
-      if (counts.size <= COUNTED_REQUESTS) return;
+      if (counts.size <= MAX_COUNTED_REQUESTS) return;
       const oldest = counts.keys().next().value;
       if (oldest !== undefined) counts.delete(oldest);
     },
--- a/packages/standins/engine/scheduler/restart.ts
+++ b/packages/standins/engine/scheduler/restart.ts
@@ -1,5 +1,5 @@
 import { EMPTY_CACHE_LOG } from './cacheLog.js';
-import { EMPTY_BATCH, addStats } from './state.js';
+import { EMPTY_BATCH, updateStats } from './state.js';
 import type { SchedulerStep } from './state.js';
 import type { SchedulerEnvironment, SchedulerState } from './types.js';
 import { addFault } from '../faults.js';
@@ -34,7 +34,7 @@
   };
   const { stats } = state;
   return toStep(
-    addStats(restarted, { lost: stats.lost + lost.length, restarts: stats.restarts + 1 }),
+    updateStats(restarted, { lost: stats.lost + lost.length, restarts: stats.restarts + 1 }),
     ...lost.map(({ id }) => ({ kind: 'break', sequence: id }) as const),
   );
 };
--- a/packages/standins/engine/scheduler/schedulerChild.test.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.test.ts
@@ -108,11 +108,11 @@
     while (engine.list('finish').length < count) engine.advance(1);
     return { ms: engine.now() - begin, overloads: engine.getState().stats.overloadedWhileCold };
   };
-  const bearable = measure(2, 0);
-  const tooMuch = measure(3, 0);
-  t.is(bearable.overloads, 0);
-  t.is(tooMuch.overloads, 1);
-  t.true(tooMuch.ms > bearable.ms * 4);
+  const withinLimit = measure(2, 0);
+  const aboveLimit = measure(3, 0);
+  t.is(withinLimit.overloads, 0);
+  t.is(aboveLimit.overloads, 1);
+  t.true(aboveLimit.ms > withinLimit.ms * 4);
   t.is(measure(30, 1_000).overloads, 0);
 });
 
--- a/packages/standins/engine/scheduler/schedulerChild.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.ts
@@ -1,8 +1,8 @@
 import { addWaiting } from './batch.js';
 import { computeLoad } from './load.js';
-import { computeBearing } from './ramp.js';
+import { computeConcurrencyLimit } from './ramp.js';
 import { applyFault, restartEngine } from './restart.js';
-import { addStats, initScheduler } from './state.js';
+import { updateStats, initScheduler } from './state.js';
 import type { SchedulerStep } from './state.js';
 import { handleStepDue, startStep } from './stepping.js';
 import type { SchedulerEnvironment, SchedulerState, SchedulerStats } from './types.js';
@@ -25,7 +25,7 @@
   status: number,
   message: string,
 ): SchedulerStep =>
-  toStep(addStats(state, { refused: state.stats.refused + 1 }), {
+  toStep(updateStats(state, { refused: state.stats.refused + 1 }), {
     kind: 'refuse',
     sequence,
     status,
@@ -49,16 +49,16 @@
 });
 
 /** Collapses a cold engine that got more than it bears. */
-const checkBearing = (state: SchedulerState, now: Millis): SchedulerState => {
-  const bearing = computeBearing(state.readyAt, state.settings, now);
+const applyColdLimit = (state: SchedulerState, now: Millis): SchedulerState => {
+  const limit = computeConcurrencyLimit(state.readyAt, state.settings, now);
   const inFlight = state.batch.running.length + state.batch.waiting.length;
-  if (bearing.kind === 'warm' || inFlight <= bearing.concurrency) return state;
+  if (limit.kind === 'warm' || inFlight <= limit.concurrency) return state;
   const { overloadedWhileCold } = state.stats;
   const collapsed = { ...state, collapsedUntil: now + state.settings.collapseMs };
-  return addStats(collapsed, { overloadedWhileCold: overloadedWhileCold + 1 });
+  return updateStats(collapsed, { overloadedWhileCold: overloadedWhileCold + 1 });
 };
 
-const countStart = ({ stats, version }: SchedulerState): Partial<SchedulerStats> => ({
+const countStarted = ({ stats, version }: SchedulerState): Partial<SchedulerStats> => ({
   started: stats.started + 1,
   startedByVersion: {
     ...stats.startedByVersion,
@@ -71,10 +71,13 @@
   submission: Submission,
   environment: SchedulerEnvironment,
 ): SchedulerStep => {
-  state.counts.add(submission.requestId);
+  state.requestCounts.add(submission.requestId);
   const batch = addWaiting(state.batch, toSequence(state, submission));
-  const started = addStats({ ...state, batch, arrivals: state.arrivals + 1 }, countStart(state));
-  const next = checkBearing(started, environment.now());
+  const started = updateStats(
+    { ...state, batch, arrivals: state.arrivals + 1 },
+    countStarted(state),
+  );
+  const next = applyColdLimit(started, environment.now());
   return next.phase.kind === 'idle' ? startStep(next, environment) : toStep(next);
 };
 
@@ -96,7 +99,7 @@
     case 'refuse':
       return refuse(state, id, decision.status, decision.message);
     case 'crash': {
-      state.counts.add(submission.requestId);
+      state.requestCounts.add(submission.requestId);
       const crashed = restartEngine(state, decision.downMs, environment);
       return toStep(crashed.state, { kind: 'break', sequence: id }, ...crashed.effects, {
         kind: 'crash',
@@ -115,19 +118,19 @@
   const before = state.batch.running.length + state.batch.waiting.length;
   const cancelled = before - running.length - waiting.length;
   const next = { ...state, batch: { ...state.batch, running, waiting } };
-  return toStep(addStats(next, { cancelled: state.stats.cancelled + cancelled }));
+  return toStep(updateStats(next, { cancelled: state.stats.cancelled + cancelled }));
 };
 
 const publishLoad = (state: SchedulerState, environment: SchedulerEnvironment): SchedulerStep => {
   const now = environment.now();
-  const again: EngineEffect = {
+  const nextPublication: EngineEffect = {
     kind: 'schedule',
     delayMs: state.settings.loadLagMs,
     event: { to: 'scheduler', kind: 'publish-load' },
   };
-  if (now < state.frozenUntil) return toStep(state, again);
+  if (now < state.frozenUntil) return toStep(state, nextPublication);
   const published = computeLoad(state, now);
-  return toStep({ ...state, published, tokensPublished: state.stats.tokens }, again);
+  return toStep({ ...state, published, tokensPublished: state.stats.tokens }, nextPublication);
 };
 
 /**
--- a/packages/standins/engine/scheduler/state.ts
+++ b/packages/standins/engine/scheduler/state.ts
@@ -1,4 +1,4 @@
-import { EMPTY_CACHE_LOG, recordChanges } from './cacheLog.js';
+import { EMPTY_CACHE_LOG, appendCacheEvents } from './cacheLog.js';
 import type { CacheChange } from './prefixCache.js';
 import { createRequestCounts } from './requestCounts.js';
 import type { Batch } from './batch.js';
@@ -35,7 +35,7 @@
  * @param changes - new values
  * @returns the engine with them
  */
-export const addStats = (
+export const updateStats = (
   state: SchedulerState,
   changes: Partial<SchedulerStats>,
 ): SchedulerState => ({
@@ -57,7 +57,7 @@
   environment: SchedulerEnvironment,
 ): SchedulerState => ({
   ...state,
-  cacheLog: recordChanges(
+  cacheLog: appendCacheEvents(
     state.cacheLog,
     changes,
     state.settings.cacheEventLossShare,
@@ -93,7 +93,7 @@
     faults: [],
     cacheLog: EMPTY_CACHE_LOG,
     stats: EMPTY_STATS,
-    counts: createRequestCounts(),
+    requestCounts: createRequestCounts(),
     published: {
       startId,
       running: 0,
--- a/packages/standins/engine/scheduler/stepping.ts
+++ b/packages/standins/engine/scheduler/stepping.ts
@@ -1,5 +1,5 @@
-import { countUsedTokens, planStep, settleStep } from './batch.js';
-import { addStats, recordCacheChanges } from './state.js';
+import { countUsedTokens, planStep, finishStep } from './batch.js';
+import { updateStats, recordCacheChanges } from './state.js';
 import type { SchedulerStep } from './state.js';
 import type { SchedulerEnvironment, SchedulerState } from './types.js';
 import { MAX_TIMER_LAG_MS } from '../constants.js';
@@ -35,7 +35,7 @@
   const plan = planStep(state.batch, state.settings, now);
   const running = plan.batch.running.length;
   const used = countUsedTokens(plan.batch.running) / state.settings.memoryTokens;
-  const counted = addStats(
+  const counted = updateStats(
     { ...state, batch: plan.batch },
     {
       preemptions: state.stats.preemptions + plan.preempted.length,
@@ -57,7 +57,7 @@
   );
 };
 
-const toFinish = (sequence: Sequence): EngineEffect => ({
+const toFinishEffect = (sequence: Sequence): EngineEffect => ({
   kind: 'finish',
   sequence: sequence.id,
   reason: sequence.generated < sequence.targetTokens ? 'length' : sequence.finishReason,
@@ -90,27 +90,27 @@
       event: { to: 'scheduler', kind: 'step-due', step },
     });
   }
-  const settled = settleStep(state.batch, state.settings, now);
-  const counted = addStats(
-    { ...state, batch: settled.batch },
+  const result = finishStep(state.batch, state.settings, now);
+  const counted = updateStats(
+    { ...state, batch: result.batch },
     {
-      tokens: state.stats.tokens + settled.emitted.length,
-      finished: state.stats.finished + settled.finished.length,
-      stalledMs: state.stats.stalledMs + settled.stalledMs,
+      tokens: state.stats.tokens + result.emitted.length,
+      finished: state.stats.finished + result.finished.length,
+      stalledMs: state.stats.stalledMs + result.stalledMs,
     },
   );
   const following = startStep(
-    recordCacheChanges(counted, settled.changes, environment),
+    recordCacheChanges(counted, result.changes, environment),
     environment,
   );
-  const tokens = settled.emitted.map(({ id, generated }) => ({
+  const tokens = result.emitted.map(({ id, generated }) => ({
     sequence: id,
     index: generated - 1,
   }));
   return toStep(
     following.state,
     { kind: 'emit', tokens },
-    ...settled.finished.map(toFinish),
+    ...result.finished.map(toFinishEffect),
     ...following.effects,
   );
 };
--- a/packages/standins/engine/scheduler/types.ts
+++ b/packages/standins/engine/scheduler/types.ts
@@ -65,7 +65,7 @@
   readonly faults: readonly ActiveFault[];
   readonly cacheLog: CacheLog;
   readonly stats: SchedulerStats;
-  readonly counts: RequestCounts;
+  readonly requestCounts: RequestCounts;
   readonly published: LoadFigures;
   /** Token count at the last publication, for the token rate. */
   readonly tokensPublished: number;
--- a/packages/standins/engine/startEngineStandin.ts
+++ b/packages/standins/engine/startEngineStandin.ts
@@ -3,7 +3,7 @@
 import { ENGINE_FAULT_SCHEMA } from './faults.js';
 import { createOutputs } from './outputs.js';
 import type { OutputMode, Outputs } from './outputs.js';
-import { registerPages } from './pages.js';
+import { registerStatusRoutes } from './pages.js';
 import { CHAT_SCHEMA, ORDER_SCHEMA } from './schemas.js';
 import type { ChatBody } from './schemas.js';
 import { buildSubmission } from './submission.js';
@@ -12,8 +12,8 @@
 import type { EngineEffect, EngineEvent, EngineOptions, EngineSettings } from './types.js';
 import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
 import type { CommonAdapters } from '../common/routedDaemon.js';
-import { createExchange } from '../common/exchange.js';
-import type { Exchange } from '../common/exchange.js';
+import { createPendingRequests } from '../common/exchange.js';
+import type { PendingRequests } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
 import { createView } from '../common/view.js';
 import type { Standin } from '../common/types.js';
@@ -84,10 +84,14 @@
   });
 };
 
-const registerControlRoutes = (app: FastifyInstance, exchange: Exchange, post: Post): void => {
+const registerControlRoutes = (
+  app: FastifyInstance,
+  pendingRequests: PendingRequests,
+  post: Post,
+): void => {
   app.post('/control/order', async (request, reply) => {
     const order = ORDER_SCHEMA.parse(request.body);
-    return exchange.handle(request, reply, (id) => {
+    return pendingRequests.handle(request, reply, (id) => {
       post({ to: 'control', kind: 'order', reply: id, order });
     });
   });
@@ -105,12 +109,12 @@
  * @returns the running stand-in
  */
 export const startEngineStandin = async (options: EngineOptions = {}): Promise<Standin> => {
-  const { port = 0, ...given } = options;
-  const settings = { ...DEFAULT_ENGINE_SETTINGS, ...given };
+  const { port = 0, ...overrides } = options;
+  const settings = { ...DEFAULT_ENGINE_SETTINGS, ...overrides };
   const clock = createSystemClock();
   const random = createRandomSource(settings.seed);
   const listener = createListener();
-  const exchange = createExchange();
+  const pendingRequests = createPendingRequests();
   const views: EngineViews = { scheduler: createView(), control: createView() };
   const outputs = createOutputs({
     model: settings.model,
@@ -122,11 +126,11 @@
     clock,
     children: listEngineChildren(settings, environment, views),
     perform: (effect, loop) => {
-      performEffect(effect, outputs, { exchange, listener, loop });
+      performEffect(effect, outputs, { pendingRequests, listener, loop });
     },
   });
   registerChatRoute(listener.app, settings, outputs, daemon.post);
-  registerControlRoutes(listener.app, exchange, daemon.post);
-  registerPages(listener.app, views, clock);
+  registerControlRoutes(listener.app, pendingRequests, daemon.post);
+  registerStatusRoutes(listener.app, views, clock);
   return startStandin(daemon, listener, port);
 };
--- a/packages/standins/engine/submission.ts
+++ b/packages/standins/engine/submission.ts
@@ -29,19 +29,19 @@
   settings: EngineSettings,
 ): Submission => {
   const prompt = buildPrompt(body.messages);
-  const given = body.metadata?.target_tokens;
-  const wanted =
-    given === undefined
+  const fixedTarget = body.metadata?.target_tokens;
+  const requestedTokens =
+    fixedTarget === undefined
       ? computeOutputTokens(prompt, settings.seed, settings.meanOutputTokens)
-      : Math.max(1, Number(given));
+      : Math.max(1, Number(fixedTarget));
   const limit = body.max_completion_tokens ?? body.max_tokens ?? settings.maxOutputTokens;
   return {
     sequence,
     requestId: identity.requestId,
     priority: body.priority ?? 0,
     promptTokens: countPromptTokens(prompt),
-    targetTokens: Math.min(wanted, limit),
-    finishReason: wanted > limit ? 'length' : 'stop',
+    targetTokens: Math.min(requestedTokens, limit),
+    finishReason: requestedTokens > limit ? 'length' : 'stop',
     prefix: hashPromptPrefix(prompt),
     content: prompt,
     route: body.metadata?.route,
--- a/packages/standins/ledger/book/bookChild.ts
+++ b/packages/standins/ledger/book/bookChild.ts
@@ -9,26 +9,26 @@
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
 /** State of the service process; the executions outlive it. */
-export interface BookState {
+export interface ServiceState {
   readonly startId: string;
   readonly faults: readonly CallFault[];
   readonly calls: number;
 }
 
 /** What the book takes from outside its state. */
-export interface BookEnvironment {
+export interface ServiceEnvironment {
   readonly executions: Executions;
   readonly callMs: Millis;
   readonly createStartId: () => string;
 }
 
-type BookStep = Step<BookState, LedgerEffect>;
+type ServiceStep = Step<ServiceState, LedgerEffect>;
 
 /** Largest balance of an account in cents. */
-const BALANCE_BOUND = 100_000_000;
+const BALANCE_LIMIT_CENTS = 100_000_000;
 
 /** Takes one call from each fault and drops the faults that are used up. */
-const takeFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
+const countDownFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
   faults.map((fault) => ({ ...fault, calls: fault.calls - 1 })).filter(({ calls }) => calls > 0);
 
 const computeDelay = (faults: readonly CallFault[], kind: 'delay-before' | 'delay-after'): Millis =>
@@ -44,7 +44,7 @@
  * @returns cents
  */
 export const computeBalance = (account: string): number =>
-  createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_BOUND;
+  createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_LIMIT_CENTS;
 
 const performCall = (call: LedgerCall, executions: Executions): Answer => {
   switch (call.kind) {
@@ -61,51 +61,51 @@
 };
 
 const handleCall = (
-  state: BookState,
+  state: ServiceState,
   reply: ReplyId,
   call: LedgerCall,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   const { faults, startId } = state;
-  const next = { ...state, faults: takeFaults(faults), calls: state.calls + 1 };
+  const next = { ...state, faults: countDownFaults(faults), calls: state.calls + 1 };
   if (hasFault(faults, 'fail-before')) {
     const answer = { status: 500, body: { error: 'failed before any effect' } };
-    return toStep<BookState, LedgerEffect>(next, { kind: 'answer', reply, answer });
+    return toStep<ServiceState, LedgerEffect>(next, { kind: 'answer', reply, answer });
   }
-  return toStep<BookState, LedgerEffect>(next, {
+  return toStep<ServiceState, LedgerEffect>(next, {
     kind: 'schedule',
     delayMs: environment.callMs + computeDelay(faults, 'delay-before'),
-    event: { to: 'book', kind: 'execute-due', reply, call, startId, faults },
+    event: { to: 'service', kind: 'execute-due', reply, call, startId, faults },
   });
 };
 
 const handleExecuteDue = (
-  state: BookState,
+  state: ServiceState,
   event: Extract<LedgerEvent, { kind: 'execute-due' }>,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   const { reply, faults } = event;
   if (event.startId !== state.startId) return toStep(state, { kind: 'drop', reply });
   const answer = performCall(event.call, environment.executions);
   if (hasFault(faults, 'drop-answer')) return toStep(state, { kind: 'drop', reply });
   const delayMs = computeDelay(faults, 'delay-after');
   if (delayMs === 0) return toStep(state, { kind: 'answer', reply, answer });
-  return toStep<BookState, LedgerEffect>(state, {
+  return toStep<ServiceState, LedgerEffect>(state, {
     kind: 'schedule',
     delayMs,
-    event: { to: 'book', kind: 'answer-due', reply, answer },
+    event: { to: 'service', kind: 'answer-due', reply, answer },
   });
 };
 
 const applyFault = (
-  state: BookState,
+  state: ServiceState,
   fault: LedgerFault,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   switch (fault.kind) {
     case 'crash': {
       const restarted = { ...state, startId: environment.createStartId() };
-      return toStep<BookState, LedgerEffect>(restarted, { kind: 'crash', downMs: fault.downMs });
+      return toStep<ServiceState, LedgerEffect>(restarted, { kind: 'crash', downMs: fault.downMs });
     }
     case 'freeze':
       return toStep(state, { kind: 'freeze', forMs: fault.forMs });
@@ -129,11 +129,11 @@
  * @param environment - executions, usual time of a call and start identities
  * @returns the next state and the answers
  */
-export const decideBook = (
-  state: BookState,
+export const decideService = (
+  state: ServiceState,
   event: LedgerEvent,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   switch (event.kind) {
     case 'call':
       return handleCall(state, event.reply, event.call, environment);
@@ -154,9 +154,9 @@
  * @param environment - executions, usual time of a call and start identities
  * @returns the decisions of the child
  */
-export const createBookChild = (
-  environment: BookEnvironment,
-): ChildLogic<BookState, LedgerEvent, LedgerEffect> => ({
+export const createServiceChild = (
+  environment: ServiceEnvironment,
+): ChildLogic<ServiceState, LedgerEvent, LedgerEffect> => ({
   init: () => toStep({ startId: environment.createStartId(), faults: [], calls: 0 }),
-  decide: (state, event) => decideBook(state, event, environment),
+  decide: (state, event) => decideService(state, event, environment),
 });
--- a/packages/standins/ledger/startLedgerStandin.ts
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -1,5 +1,5 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
-import type { BookState } from './book/bookChild.js';
+import type { ServiceState } from './book/bookChild.js';
 import { createExecutions } from './book/executions.js';
 import type { Executions } from './book/executions.js';
 import { EXECUTIONS_SCHEMA, EXECUTION_SCHEMA, LEDGER_FAULT_SCHEMA } from './schemas.js';
@@ -13,8 +13,8 @@
   LedgerStandin,
 } from './types.js';
 import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
-import { createExchange } from '../common/exchange.js';
-import type { Exchange } from '../common/exchange.js';
+import { createPendingRequests } from '../common/exchange.js';
+import type { PendingRequests } from '../common/exchange.js';
 import { createListener } from '../common/listener.js';
 import { createView } from '../common/view.js';
 import { createSystemClock } from '../../core/clock.js';
@@ -35,32 +35,32 @@
 
 const registerServiceRoutes = (
   app: FastifyInstance,
-  exchange: Exchange,
+  pendingRequests: PendingRequests,
   post: Post,
-  getBook: () => BookState,
+  getState: () => ServiceState,
 ): void => {
   app.get<{ Params: { account: string } }>('/balances/:account', async (request, reply) =>
-    exchange.handle(request, reply, (id) => {
+    pendingRequests.handle(request, reply, (id) => {
       const { account } = request.params;
-      post({ to: 'book', kind: 'call', reply: id, call: { kind: 'balance', account } });
+      post({ to: 'service', kind: 'call', reply: id, call: { kind: 'balance', account } });
     }),
   );
   for (const route of EXECUTION_ROUTES) {
     app.post(`/${route}`, async (request, reply) => {
       const call = readExecution(request, route);
-      return exchange.handle(request, reply, (id) => {
-        post({ to: 'book', kind: 'call', reply: id, call });
+      return pendingRequests.handle(request, reply, (id) => {
+        post({ to: 'service', kind: 'call', reply: id, call });
       });
     });
   }
-  app.get('/health', async () => ({ status: 'ready', startId: getBook().startId }));
+  app.get('/health', async () => ({ status: 'ready', startId: getState().startId }));
 };
 
 const registerInspectionRoutes = (
   app: FastifyInstance,
   executions: Executions,
   post: Post,
-  getBook: () => BookState,
+  getState: () => ServiceState,
 ): void => {
   app.get('/executions', async (request) => {
     const { key } = EXECUTIONS_SCHEMA.parse(request.query);
@@ -68,10 +68,10 @@
   });
   app.post('/faults', async (request) => {
     const fault = LEDGER_FAULT_SCHEMA.parse(request.body);
-    post({ to: 'book', kind: 'apply-fault', fault });
+    post({ to: 'service', kind: 'apply-fault', fault });
     return fault;
   });
-  app.get('/standin/stats', async () => ({ ...getBook(), executions: executions.list().total }));
+  app.get('/standin/stats', async () => ({ ...getState(), executions: executions.list().total }));
 };
 
 /**
@@ -81,23 +81,23 @@
  * @returns the running stand-in
  */
 export const startLedgerStandin = async (options: LedgerOptions = {}): Promise<LedgerStandin> => {
-  const exchange = createExchange();
+  const pendingRequests = createPendingRequests();
   const executions = createExecutions();
   const listener = createListener();
   const inspection = createListener();
-  const book = createView<BookState>();
+  const serviceView = createView<ServiceState>();
   const callMs = options.callMs ?? DEFAULT_CALL_MS;
   const environment = { executions, callMs, createStartId: createId };
   const daemon = createRoutedDaemon<LedgerEvent, LedgerEffect>({
     name: 'ledger-standin',
     clock: createSystemClock(),
-    children: listLedgerChildren(environment, book.publish),
+    children: listLedgerChildren(environment, serviceView.publish),
     perform: (effect, loop) => {
-      performCommonEffect(effect, { exchange, listener, loop });
+      performCommonEffect(effect, { pendingRequests, listener, loop });
     },
   });
-  registerServiceRoutes(listener.app, exchange, daemon.post, book.get);
-  registerInspectionRoutes(inspection.app, executions, daemon.post, book.get);
+  registerServiceRoutes(listener.app, pendingRequests, daemon.post, serviceView.get);
+  registerInspectionRoutes(inspection.app, executions, daemon.post, serviceView.get);
   const service = await startStandin(daemon, listener, options.port ?? 0);
   await inspection.open(options.inspectionPort ?? 0);
   return {
--- a/packages/standins/ledger/supervisor.ts
+++ b/packages/standins/ledger/supervisor.ts
@@ -1,5 +1,5 @@
-import { createBookChild } from './book/bookChild.js';
-import type { BookEnvironment, BookState } from './book/bookChild.js';
+import { createServiceChild } from './book/bookChild.js';
+import type { ServiceEnvironment, ServiceState } from './book/bookChild.js';
 import type { LedgerEffect, LedgerEvent } from './types.js';
 import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
@@ -12,12 +12,12 @@
  * @returns the children in start order
  */
 export const listLedgerChildren = (
-  environment: BookEnvironment,
-  publish: (state: BookState) => void,
+  environment: ServiceEnvironment,
+  publish: (state: ServiceState) => void,
 ): readonly ChildSpec<LedgerEvent, LedgerEffect>[] => [
-  buildRoutedChild('book', {
+  buildRoutedChild('service', {
     rebuildsFrom: 'nothing',
-    createLogic: () => createBookChild(environment),
+    createLogic: () => createServiceChild(environment),
     publish,
   }),
 ];
--- a/packages/standins/ledger/types.ts
+++ b/packages/standins/ledger/types.ts
@@ -31,7 +31,7 @@
 
 export type LedgerFault = CallFault | ServiceFault;
 
-export type LedgerEvent = { readonly to: 'book' } & (
+export type LedgerEvent = { readonly to: 'service' } & (
   | { readonly kind: 'call'; readonly reply: ReplyId; readonly call: LedgerCall }
   | {
       readonly kind: 'execute-due';
--- a/packages/standins/platform/constants.ts
+++ b/packages/standins/platform/constants.ts
@@ -17,7 +17,7 @@
 export const MAX_READ_WAIT_MS = 60_000;
 
 /** Share of a second whose appends may arrive at once. */
-export const APPEND_BURST_SHARE = 0.25;
+export const APPEND_BURST_SECONDS = 0.25;
 
 /** History of the instance list, longer than any lag a test asks for. */
 export const LIST_HISTORY_MS = 120_000;
--- a/packages/standins/platform/instances/instancesChild.ts
+++ b/packages/standins/platform/instances/instancesChild.ts
@@ -29,7 +29,7 @@
 
 type InstancesStep = Step<InstancesState, PlatformEffect>;
 
-const getNewest = (state: InstancesState): readonly Instance[] =>
+const getNewestInstances = (state: InstancesState): readonly Instance[] =>
   state.versions.at(-1)?.instances ?? [];
 
 const replyJson = (reply: ReplyId, status: number, body: unknown): PlatformEffect => ({
@@ -43,10 +43,10 @@
   instances: readonly Instance[],
   now: Millis,
 ): InstancesState => {
-  const covered = state.versions.findLastIndex(({ at }) => at <= now - LIST_HISTORY_MS);
+  const firstNeeded = state.versions.findLastIndex(({ at }) => at <= now - LIST_HISTORY_MS);
   return {
     ...state,
-    versions: [...state.versions.slice(Math.max(0, covered)), { at: now, instances }],
+    versions: [...state.versions.slice(Math.max(0, firstNeeded)), { at: now, instances }],
   };
 };
 
@@ -68,7 +68,7 @@
 };
 
 const writeInstance = (state: InstancesState, instance: Instance, now: Millis): InstancesState => {
-  const others = getNewest(state).filter(({ id }) => id !== instance.id);
+  const others = getNewestInstances(state).filter(({ id }) => id !== instance.id);
   return pushVersion(state, [...others, instance], now);
 };
 
@@ -99,8 +99,11 @@
       return toStep(next, replyJson(event.reply, 200, event.instance));
     }
     case 'delete-instance': {
-      const left = getNewest(state).filter(({ id }) => id !== event.id);
-      return toStep(pushVersion(state, left, now), replyJson(event.reply, 200, { id: event.id }));
+      const remaining = getNewestInstances(state).filter(({ id }) => id !== event.id);
+      return toStep(
+        pushVersion(state, remaining, now),
+        replyJson(event.reply, 200, { id: event.id }),
+      );
     }
     case 'set-faults':
       return toStep(applyFaults(state, event.faults));
--- a/packages/standins/platform/log/logChild.ts
+++ b/packages/standins/platform/log/logChild.ts
@@ -1,9 +1,9 @@
 import { createRecordTable } from './recordTable.js';
 import type { RecordTable } from './recordTable.js';
-import { takeAllowance } from '../../common/rateLimit.js';
-import type { Allowance } from '../../common/rateLimit.js';
+import { takeFromBucket } from '../../common/rateLimit.js';
+import type { TokenBucket } from '../../common/rateLimit.js';
 import type { ReplyId } from '../../common/exchange.js';
-import { APPEND_BURST_SHARE } from '../constants.js';
+import { APPEND_BURST_SECONDS } from '../constants.js';
 import type {
   FaultsEvent,
   LogEvent,
@@ -25,7 +25,7 @@
 export interface LogState {
   readonly mode: LogMode;
   readonly settings: PlatformSettings;
-  readonly allowance: Allowance;
+  readonly bucket: TokenBucket;
   readonly table: RecordTable;
   /** Reads that wait for a record at their offset. */
   readonly waiting: readonly ReadEvent[];
@@ -71,9 +71,9 @@
 const admitAppend = (state: LogState, event: AppendEvent, now: Millis): LogStep => {
   if (state.mode === 'down') return toStep(state, replyUnavailable(event.reply));
   const perSecond = state.settings.appendsPerSecond;
-  const burst = Math.max(1, perSecond * APPEND_BURST_SHARE);
-  const decision = takeAllowance(state.allowance, perSecond, burst, now);
-  const next = { ...state, allowance: decision.allowance };
+  const burst = Math.max(1, perSecond * APPEND_BURST_SECONDS);
+  const decision = takeFromBucket(state.bucket, perSecond, burst, now);
+  const next = { ...state, bucket: decision.bucket };
   if (decision.kind === 'limited') {
     return toStep(next, replyLimited(event.reply, decision.retryAfterMs));
   }
@@ -155,7 +155,7 @@
     toStep({
       mode: 'up',
       settings,
-      allowance: { left: settings.appendsPerSecond * APPEND_BURST_SHARE, at: clock.now() },
+      bucket: { left: settings.appendsPerSecond * APPEND_BURST_SECONDS, at: clock.now() },
       table: createRecordTable(),
       waiting: [],
     }),
--- a/packages/standins/platform/log/recordTable.ts
+++ b/packages/standins/platform/log/recordTable.ts
@@ -34,7 +34,7 @@
 }
 
 /** Dropped records are released from the array in batches, because each release copies the rest. */
-const RELEASE_BATCH_RECORDS = 1_024;
+const COMPACTION_MIN_RECORDS = 1_024;
 
 const countExpired = (stream: Stream, retention: Retention, now: Millis): number => {
   let dropped = Math.max(stream.dropped, stream.records.length - retention.records);
@@ -55,8 +55,8 @@
   const streams = new Map<string, Stream>();
 
   const openStream = (name: string): Stream => {
-    const known = streams.get(name);
-    if (known !== undefined) return known;
+    const existing = streams.get(name);
+    if (existing !== undefined) return existing;
     const created: Stream = { records: [], dropped: 0, nextOffset: 0 };
     streams.set(name, created);
     return created;
@@ -75,7 +75,7 @@
     expire: (name, retention, now) => {
       const stream = openStream(name);
       stream.dropped = countExpired(stream, retention, now);
-      if (stream.dropped < RELEASE_BATCH_RECORDS) return;
+      if (stream.dropped < COMPACTION_MIN_RECORDS) return;
       stream.records = stream.records.slice(stream.dropped);
       stream.dropped = 0;
     },
--- a/packages/standins/platform/weights/weightsChild.ts
+++ b/packages/standins/platform/weights/weightsChild.ts
@@ -1,5 +1,5 @@
-import { takeAllowance } from '../../common/rateLimit.js';
-import type { Allowance } from '../../common/rateLimit.js';
+import { takeFromBucket } from '../../common/rateLimit.js';
+import type { TokenBucket } from '../../common/rateLimit.js';
 import type { PlatformEffect, PlatformSettings, WeightsEvent } from '../types.js';
 import type { Clock, Millis } from '../../../core/clock.js';
 import type { Step } from '../../../core/step.js';
@@ -8,7 +8,7 @@
 
 /** Rate limit of the weight store. */
 export interface WeightsState {
-  readonly allowance: Allowance;
+  readonly bucket: TokenBucket;
 }
 
 /**
@@ -27,8 +27,8 @@
   now: Millis,
 ): Step<WeightsState, PlatformEffect> => {
   const { weightsPerSecond, weightsBurst } = settings;
-  const decision = takeAllowance(state.allowance, weightsPerSecond, weightsBurst, now);
-  const next = { allowance: decision.allowance };
+  const decision = takeFromBucket(state.bucket, weightsPerSecond, weightsBurst, now);
+  const next = { bucket: decision.bucket };
   const { reply, model, version } = event;
   if (decision.kind === 'allowed') {
     return toStep(next, {
@@ -54,6 +54,6 @@
   settings: PlatformSettings,
   clock: Clock,
 ): ChildLogic<WeightsState, WeightsEvent, PlatformEffect> => ({
-  init: () => toStep({ allowance: { left: settings.weightsBurst, at: clock.now() } }),
+  init: () => toStep({ bucket: { left: settings.weightsBurst, at: clock.now() } }),
   decide: (state, event) => decideWeights(state, event, settings, clock.now()),
 });
