Reword the comments of the stand-ins' common parts and of the ledger

Outages 'ended' connections and 'held' requests for a time; the comments say now which parameter bounds them and which paths are exempt. The ledger 'takes' and 'runs' calls; it receives and executes them. The properties of state, bucket and options have units and meanings. The message of an injected failure says that it is injected.

--- a/packages/standins/common/exchange.ts
+++ b/packages/standins/common/exchange.ts
@@ -1,24 +1,25 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
-/** Names an HTTP request that waits for its answer. */
+/** Identifies an HTTP request that waits for its answer. */
 export type ReplyId = number;
 
+/** Response to an HTTP request. */
 export interface Answer {
   readonly status: number;
   readonly body: unknown;
   readonly headers?: Readonly<Record<string, string>>;
 }
 
-/** Requests that wait for an effect of the decisions to answer them. */
+/** HTTP requests that wait until an effect of the decisions answers or drops them. */
 export interface PendingRequests {
-  /** Registers a request, posts its event and waits for the answer. */
+  /** Registers a request, posts its event and resolves when the request is answered or dropped. */
   readonly handle: (
     request: FastifyRequest,
     reply: FastifyReply,
     post: (id: ReplyId) => void,
   ) => Promise<FastifyReply>;
   readonly answer: (id: ReplyId, answer: Answer) => void;
-  /** Ends the connection of a request without an answer. */
+  /** Closes the connection of a request without an answer. */
   readonly drop: (id: ReplyId) => void;
 }
 
--- a/packages/standins/common/listener.ts
+++ b/packages/standins/common/listener.ts
@@ -6,15 +6,15 @@
 import { MAX_BODY_BYTES } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** HTTP server of a stand-in, with the outages that a stand-in can show. */
+/** HTTP server of a stand-in, with the outages that a stand-in can simulate. */
 export interface Listener {
   readonly app: FastifyInstance;
-  /** Base address; known after `open`. */
+  /** Returns the base URL; may only be called after `open`. */
   readonly getUrl: () => string;
   readonly open: (port: number) => Promise<void>;
-  /** Ends every connection and answers no request for a time, except on exempt paths. */
+  /** Closes every connection and drops new requests for `downMs`, except on exempt paths. */
   readonly crash: (downMs: Millis) => void;
-  /** Holds every request for a time, except on exempt paths. */
+  /** Delays every request until `forMs` have passed, except on exempt paths. */
   readonly freeze: (forMs: Millis) => void;
   readonly close: () => Promise<void>;
 }
@@ -29,10 +29,11 @@
 };
 
 /**
- * Creates the HTTP server of a stand-in on 127.0.0.1. The paths `/faults` and `/standin/*` stay
- * reachable while the stand-in is crashed or frozen, so that a test can look and repair.
+ * Creates the HTTP server of a stand-in on 127.0.0.1. The paths `/faults` and `/standin/*` are
+ * exempt from outages: they stay reachable while the stand-in is crashed or frozen, so that a test
+ * can read its state and clear its faults.
  *
- * @returns the server, not yet open
+ * @returns the server, not yet listening
  */
 export const createListener = (): Listener => {
   const app = fastify({ logger: false, forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES });
--- a/packages/standins/common/rateLimit.ts
+++ b/packages/standins/common/rateLimit.ts
@@ -1,8 +1,10 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Allowance of a rate limit that refills evenly. */
+/** Token bucket of a rate limit; it refills at a constant rate. */
 export interface TokenBucket {
+  /** Requests that may pass at once. */
   readonly left: number;
+  /** Instant for which `left` was computed. */
   readonly at: Millis;
 }
 
@@ -11,13 +13,13 @@
   | { readonly kind: 'limited'; readonly bucket: TokenBucket; readonly retryAfterMs: Millis };
 
 /**
- * Takes one request from an allowance.
+ * Takes one request from a token bucket, after refilling it up to the current instant.
  *
- * @param allowance - allowance after the last request
- * @param perSecond - requests that refill in a second
- * @param burst - largest allowance
+ * @param bucket - bucket after the last request
+ * @param perSecond - requests that the bucket regains per second
+ * @param burst - capacity of the bucket in requests
  * @param now - current instant
- * @returns whether the request may pass, with the next allowance
+ * @returns whether the request may pass, and the next bucket
  */
 export const takeFromBucket = (
   bucket: TokenBucket,
--- a/packages/standins/common/routedDaemon.ts
+++ b/packages/standins/common/routedDaemon.ts
@@ -9,31 +9,32 @@
 import { startSupervisor } from '../../core/supervision/supervisor.js';
 import type { ChildSpec, RunningChild } from '../../core/supervision/types.js';
 
-/** Effects that every stand-in has. */
+/** Effects that all stand-ins share. */
 export type CommonEffect<Event> =
   | { readonly kind: 'answer'; readonly reply: ReplyId; readonly answer: Answer }
-  /** Ends the connection of a request without an answer. */
+  /** Closes the connection of a request without an answer. */
   | { readonly kind: 'drop'; readonly reply: ReplyId }
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: Event }
-  /** Ends every connection and answers nothing for a time. */
+  /** Closes every connection and drops new requests for `downMs`. */
   | { readonly kind: 'crash'; readonly downMs: Millis }
-  /** Holds every request for a time. */
+  /** Delays every request until `forMs` have passed. */
   | { readonly kind: 'freeze'; readonly forMs: Millis };
 
-/** What carries out the common effects. */
+/** Adapters that carry out the common effects. */
 export interface CommonAdapters<Event> {
   readonly pendingRequests: PendingRequests;
   readonly listener: Listener;
   readonly loop: Loop<Event>;
 }
 
-/** Tree and loop of a tool, before its listeners open. */
+/** Event loop and supervisor tree of a tool, such as a stand-in or the load generator. */
 export interface RoutedDaemon<Event> {
   readonly post: (event: Event) => void;
   readonly start: () => void;
   readonly stop: () => void;
 }
 
+/** Settings of a routed daemon; each event goes to the child that its `to` names. */
 export interface RoutedDaemonOptions<Event extends { readonly to: string }, Effect> {
   readonly name: string;
   readonly clock: Clock;
@@ -42,10 +43,10 @@
 }
 
 /**
- * Carries out an effect that every stand-in has.
+ * Carries out an effect that all stand-ins share.
  *
  * @param effect - effect of a decision
- * @param adapters - requests that wait, HTTP server and loop
+ * @param adapters - waiting requests, HTTP server and event loop
  */
 export const performCommonEffect = <Event>(
   effect: CommonEffect<Event>,
@@ -76,7 +77,7 @@
   throw error;
 };
 
-/** A failed child is a defect of the tool, so it ends the process. */
+/** Starts the supervisor tree. A failed child is a defect of the tool, so it ends the process. */
 const startRoot = <Event extends { readonly to: string }, Effect>(
   options: RoutedDaemonOptions<Event, Effect>,
 ): RunningChild<Event, Effect> =>
@@ -93,9 +94,9 @@
   );
 
 /**
- * Creates the loop and the supervisor tree of a tool, such as a stand-in or the load generator.
+ * Creates the event loop and the supervisor tree of a tool.
  *
- * @param options - children and adapters
+ * @param options - name, clock, children and the function that carries out their effects
  * @returns the daemon, not yet started
  */
 export const createRoutedDaemon = <Event extends { readonly to: string }, Effect>(
@@ -119,9 +120,9 @@
 };
 
 /**
- * Starts a stand-in and opens its server.
+ * Starts a stand-in and its HTTP server.
  *
- * @param daemon - loop and tree
+ * @param daemon - event loop and supervisor tree
  * @param listener - HTTP server with its routes
  * @param port - port on 127.0.0.1; 0 picks a free one
  * @returns the running stand-in
--- a/packages/standins/common/seededSource.ts
+++ b/packages/standins/common/seededSource.ts
@@ -3,11 +3,11 @@
 import type { RandomSource } from '../../core/random.js';
 
 /**
- * Creates a repeatable random source that belongs to a name, so that another name under the same
- * seed does not change its numbers.
+ * Creates a deterministic random source for one purpose. Each name has its own sequence under the
+ * same seed, so that a further name doesn't change the numbers of the others.
  *
  * @param seed - seed of the whole run
- * @param name - what the numbers are for
+ * @param name - purpose of the numbers
  * @returns the source
  */
 export const createSeededSource = (seed: number, name: string): RandomSource => {
--- a/packages/standins/common/types.ts
+++ b/packages/standins/common/types.ts
@@ -1,7 +1,7 @@
 /** A running stand-in. */
 export interface Standin {
-  /** Base address on 127.0.0.1. */
+  /** Base URL on 127.0.0.1. */
   readonly url: string;
-  /** Ends all connections and timers. */
+  /** Closes all connections and cancels all timers. */
   readonly close: () => Promise<void>;
 }
--- a/packages/standins/common/view.ts
+++ b/packages/standins/common/view.ts
@@ -1,14 +1,14 @@
-/** Newest state of a child, for pages that only read it. */
+/** Latest state of a child, for readers that don't change it. */
 export interface View<State> {
   readonly publish: (state: State) => void;
-  /** Throws before the child has started. */
+  /** Returns the latest state; throws if the child has not started. */
   readonly get: () => State;
 }
 
 /**
  * Creates the view of a child's state.
  *
- * @returns a view without a state
+ * @returns a view that holds no state yet
  */
 export const createView = <State>(): View<State> => {
   const published: State[] = [];
--- a/packages/standins/ledger/book/bookChild.ts
+++ b/packages/standins/ledger/book/bookChild.ts
@@ -8,14 +8,16 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
-/** State of the service process; the executions outlive it. */
+/** State of the service process. The executions are kept apart, because they survive a crash. */
 export interface ServiceState {
+  /** Identity of the process since its last start. */
   readonly startId: string;
   readonly faults: readonly CallFault[];
+  /** Number of calls received. */
   readonly calls: number;
 }
 
-/** What the book takes from outside its state. */
+/** Inputs of the service's decisions that are not part of its state. */
 export interface ServiceEnvironment {
   readonly executions: Executions;
   readonly callMs: Millis;
@@ -24,10 +26,10 @@
 
 type ServiceStep = Step<ServiceState, LedgerEffect>;
 
-/** Largest balance of an account in cents. */
+/** Exclusive upper limit of the balance of an account, in cents. */
 const BALANCE_LIMIT_CENTS = 100_000_000;
 
-/** Takes one call from each fault and drops the faults that are used up. */
+/** Counts one call off each fault and removes the faults with no calls left. */
 const countDownFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
   faults.map((fault) => ({ ...fault, calls: fault.calls - 1 })).filter(({ calls }) => calls > 0);
 
@@ -38,10 +40,10 @@
   faults.some((fault) => fault.kind === kind);
 
 /**
- * Computes the balance of an account, which never changes.
+ * Computes the balance of an account, which depends only on the account's name.
  *
  * @param account - name of the account
- * @returns cents
+ * @returns balance in cents
  */
 export const computeBalance = (account: string): number =>
   createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_LIMIT_CENTS;
@@ -69,7 +71,7 @@
   const { faults, startId } = state;
   const next = { ...state, faults: countDownFaults(faults), calls: state.calls + 1 };
   if (hasFault(faults, 'fail-before')) {
-    const answer = { status: 500, body: { error: 'failed before any effect' } };
+    const answer = { status: 500, body: { error: 'injected failure before the call took effect' } };
     return toStep<ServiceState, LedgerEffect>(next, { kind: 'answer', reply, answer });
   }
   return toStep<ServiceState, LedgerEffect>(next, {
@@ -124,10 +126,10 @@
 /**
  * Decides one event of the service.
  *
- * @param state - service before the event
+ * @param state - state of the service before the event
  * @param event - call, timer or fault
- * @param environment - executions, usual time of a call and start identities
- * @returns the next state and the answers
+ * @param environment - executions, duration of a call and start identities
+ * @returns the next state and the effects
  */
 export const decideService = (
   state: ServiceState,
@@ -149,9 +151,9 @@
 };
 
 /**
- * Creates the child that runs the calls of the service.
+ * Creates the child that executes the calls of the service.
  *
- * @param environment - executions, usual time of a call and start identities
+ * @param environment - executions, duration of a call and start identities
  * @returns the decisions of the child
  */
 export const createServiceChild = (
--- a/packages/standins/ledger/book/executions.ts
+++ b/packages/standins/ledger/book/executions.ts
@@ -1,5 +1,6 @@
 /** One call that took effect. */
 export interface Execution {
+  /** Sequence number of the execution, from 1. */
   readonly id: number;
   readonly route: string;
   readonly key: string;
@@ -7,13 +8,14 @@
 }
 
 /**
- * Executions by key. A run can have tens of thousands of keys, so the table is updated in place
- * and owned by the book child alone. It outlives crashes, as the effects of a service do.
+ * Number of executions by idempotency key. A run can have tens of thousands of keys, so the table
+ * is updated in place, by the service child alone. It survives a crash, as the effects of a service
+ * do.
  */
 export interface Executions {
   readonly add: (route: string, key: string, amount: number) => Execution;
   readonly count: (key: string) => number;
-  /** Executions in all, and the keys that ran more than once. */
+  /** Returns the total number of executions, and the keys that were executed more than once. */
   readonly list: () => {
     readonly total: number;
     readonly repeated: Readonly<Record<string, number>>;
--- a/packages/standins/ledger/ledger.test.ts
+++ b/packages/standins/ledger/ledger.test.ts
@@ -24,8 +24,8 @@
   };
 };
 
-// Guards against a stand-in that hides a doubled execution by deduplicating.
-test('each call runs, also with a key that ran before', async (t) => {
+// Guards against a stand-in that deduplicates calls and so hides a duplicate execution.
+test('each call runs, even with a key that has already run', async (t) => {
   const client = await startClient();
   t.teardown(client.ledger.close);
   t.is(await client.post('/sweeps', { key: 'k1', amount: 5 }), 201);
@@ -36,8 +36,8 @@
   t.deepEqual(balance, await client.get(`${client.ledger.url}/balances/acme`));
 });
 
-// Guards against faults that act on the wrong side of the effect.
-test('faults act before or after the effect', async (t) => {
+// Guards against a fault that acts before the effect instead of after it, or the reverse.
+test('fail-before prevents the effect and drop-answer keeps it', async (t) => {
   const client = await startClient();
   t.teardown(client.ledger.close);
   await client.applyFault({ kind: 'fail-before' });
@@ -49,8 +49,8 @@
   t.is(await client.post('/pickups', { key: 'after' }), 201);
 });
 
-// Guards against a crashed process that runs calls it took before its end.
-test('a crash breaks calls in flight, which never run, and changes the start identity', async (t) => {
+// Guards against calls that a process received before its crash and that still run afterwards.
+test('a crash drops the calls in flight and changes the start identity', async (t) => {
   const client = await startClient();
   t.teardown(client.ledger.close);
   const before = await client.readStartId();
--- a/packages/standins/ledger/schemas.ts
+++ b/packages/standins/ledger/schemas.ts
@@ -3,7 +3,7 @@
 const MILLIS = z.number().min(0);
 const CALLS = z.number().int().min(1).default(1);
 
-/** Body of a call with an effect. */
+/** Body of a call with an effect; other fields are ignored. */
 export const EXECUTION_SCHEMA = z.looseObject({
   key: z.string().optional(),
   amount: z.number().default(0),
@@ -20,4 +20,5 @@
   z.strictObject({ kind: z.literal('clear') }),
 ]);
 
+/** Query of `GET /executions`. */
 export const EXECUTIONS_SCHEMA = z.object({ key: z.string().optional() });
--- a/packages/standins/ledger/startLedgerStandin.ts
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -75,9 +75,10 @@
 };
 
 /**
- * Starts the stand-in of a plain service. It does not deduplicate: each call that reaches it runs.
+ * Starts the stand-in of a plain service. It doesn't deduplicate calls: each call that reaches it
+ * is executed.
  *
- * @param options - ports and usual time of a call
+ * @param options - ports and duration of a call
  * @returns the running stand-in
  */
 export const startLedgerStandin = async (options: LedgerOptions = {}): Promise<LedgerStandin> => {
--- a/packages/standins/ledger/supervisor.ts
+++ b/packages/standins/ledger/supervisor.ts
@@ -7,8 +7,8 @@
 /**
  * Lists the children of the ledger stand-in.
  *
- * @param environment - executions, usual time of a call and start identities
- * @param publish - receives the state of the service
+ * @param environment - executions, duration of a call and start identities
+ * @param publish - receives each new state of the service
  * @returns the children in start order
  */
 export const listLedgerChildren = (
--- a/packages/standins/ledger/types.ts
+++ b/packages/standins/ledger/types.ts
@@ -3,7 +3,7 @@
 import type { Standin } from '../common/types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Route whose calls have an effect each time they run. */
+/** Route whose calls have an effect each time they are executed. */
 export type ExecutionRoute = 'sweeps' | 'pickups' | 'credits';
 
 /** One call of the service. */
@@ -16,14 +16,14 @@
       readonly amount: number;
     };
 
-/** Fault of the calls to come; it stays for a number of calls. */
+/** Fault of the next `calls` calls. */
 export type CallFault =
   | { readonly kind: 'delay-before'; readonly delayMs: Millis; readonly calls: number }
   | { readonly kind: 'delay-after'; readonly delayMs: Millis; readonly calls: number }
   | { readonly kind: 'drop-answer'; readonly calls: number }
   | { readonly kind: 'fail-before'; readonly calls: number };
 
-/** Fault of the whole service. */
+/** Fault of the whole service; `clear` removes the faults of calls. */
 export type ServiceFault =
   | { readonly kind: 'freeze'; readonly forMs: Millis }
   | { readonly kind: 'crash'; readonly downMs: Millis }
@@ -37,7 +37,7 @@
       readonly kind: 'execute-due';
       readonly reply: ReplyId;
       readonly call: LedgerCall;
-      /** Process that took the call; a later process does not run it. */
+      /** Identity of the process that received the call; a later process doesn't execute it. */
       readonly startId: string;
       readonly faults: readonly CallFault[];
     }
@@ -50,13 +50,13 @@
 export interface LedgerOptions {
   /** Port of the service on 127.0.0.1; 0 picks a free one. */
   readonly port?: number;
-  /** Port of the inspection pages. */
+  /** Port of the inspection routes on 127.0.0.1; 0 picks a free one. */
   readonly inspectionPort?: number;
-  /** Usual time of one call. */
+  /** Duration of a call without faults. */
   readonly callMs?: Millis;
 }
 
 export interface LedgerStandin extends Standin {
-  /** Base address of the inspection pages, which no fault reaches. */
+  /** Base URL of the inspection routes, which no fault affects. */
   readonly inspectionUrl: string;
 }
