Reword the comments of the platform stand-in

The list 'shows the past by its lag' and a read was answered 'by its time'; comments and test titles name lag, wait time, rate limit and retention now.

--- a/packages/standins/platform/constants.ts
+++ b/packages/standins/platform/constants.ts
@@ -1,6 +1,6 @@
 import type { PlatformSettings } from './types.js';
 
-/** Values of the options that a caller leaves out. */
+/** Defaults of the options. */
 export const DEFAULT_PLATFORM_SETTINGS: PlatformSettings = {
   appendsPerSecond: 400,
   retentionRecords: 1_000_000,
@@ -11,13 +11,14 @@
   weightsBurst: 4,
 };
 
+/** Number of records that a read returns at most unless it sets a limit. */
 export const DEFAULT_READ_LIMIT = 1_000;
 
-/** Longest time that a read waits for a record. */
+/** Longest time for which a read may wait for a record. */
 export const MAX_READ_WAIT_MS = 60_000;
 
-/** Share of a second whose appends may arrive at once. */
+/** Burst of append requests that the rate limit admits, as seconds of the append rate. */
 export const APPEND_BURST_SECONDS = 0.25;
 
-/** History of the instance list, longer than any lag a test asks for. */
+/** Time for which old instance lists are kept; longer than any lag that a test sets. */
 export const LIST_HISTORY_MS = 120_000;
--- a/packages/standins/platform/instances/instancesChild.ts
+++ b/packages/standins/platform/instances/instancesChild.ts
@@ -14,16 +14,17 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
+/** Instance list as it was from `at` until the next version. */
 interface ListVersion {
   readonly at: Millis;
   readonly instances: readonly Instance[];
 }
 
-/** Instance list with the history that its lag shows. */
+/** Instance list with the old versions that callers still see because of the lag. */
 export interface InstancesState {
   readonly mode: ListMode;
   readonly lagMs: Millis;
-  /** Versions of the list, oldest first; the first covers all time before the second. */
+  /** Versions of the list, oldest first, back to `LIST_HISTORY_MS` ago. */
   readonly versions: readonly ListVersion[];
 }
 
@@ -51,11 +52,11 @@
 };
 
 /**
- * Finds the list as it was one lag ago.
+ * Finds the version of the list that was current `lagMs` ago.
  *
- * @param state - list with its history
+ * @param state - list with its old versions
  * @param now - current instant
- * @returns the instances that the lagging list shows
+ * @returns the instances that callers see
  */
 export const findVisibleInstances = (state: InstancesState, now: Millis): readonly Instance[] =>
   state.versions.findLast(({ at }) => at <= now - state.lagMs)?.instances ?? [];
@@ -81,10 +82,10 @@
 /**
  * Decides one event of the instance list.
  *
- * @param state - list before the event
+ * @param state - state of the list before the event
  * @param event - request or fault
  * @param now - current instant
- * @returns the next state and the answer
+ * @returns the next state and the effects
  */
 export const decideInstances = (
   state: InstancesState,
@@ -113,10 +114,10 @@
 };
 
 /**
- * Creates the child that holds the instance list.
+ * Creates the child that owns the instance list.
  *
  * @param lagMs - age of the list that callers see
- * @param clock - time of changes
+ * @param clock - clock of changes and reads
  * @returns the decisions of the child
  */
 export const createInstancesChild = (
--- a/packages/standins/platform/log/logChild.ts
+++ b/packages/standins/platform/log/logChild.ts
@@ -21,13 +21,13 @@
 type ReadEvent = Extract<LogEvent, { kind: 'read' }>;
 type AppendEvent = Extract<LogEvent, { kind: 'append' | 'append-due' }>;
 
-/** State of the log; the table of records is updated in place. */
+/** State of the log; the record table is updated in place. */
 export interface LogState {
   readonly mode: LogMode;
   readonly settings: PlatformSettings;
   readonly bucket: TokenBucket;
   readonly table: RecordTable;
-  /** Reads that wait for a record at their offset. */
+  /** Reads that wait for a record at or after their offset. */
   readonly waiting: readonly ReadEvent[];
 }
 
@@ -116,10 +116,10 @@
 /**
  * Decides one event of the log.
  *
- * @param state - log before the event
+ * @param state - state of the log before the event
  * @param event - request, timer or fault
  * @param now - current instant
- * @returns the next state and the answers
+ * @returns the next state and the effects
  */
 export const decideLog = (state: LogState, event: LogEvent | FaultsEvent, now: Millis): LogStep => {
   switch (event.kind) {
@@ -141,10 +141,10 @@
 };
 
 /**
- * Creates the child that holds the log.
+ * Creates the child that owns the log.
  *
- * @param settings - limits and retention
- * @param clock - time of records
+ * @param settings - rate limit, retention and delay
+ * @param clock - clock of records and of the rate limit
  * @returns the decisions of the child
  */
 export const createLogChild = (
--- a/packages/standins/platform/log/recordTable.ts
+++ b/packages/standins/platform/log/recordTable.ts
@@ -2,38 +2,44 @@
 import type { Offset } from '../../../core/ids.js';
 import type { StoredRecord } from '../types.js';
 
-/** Slice of a stream. */
+/** Consecutive records of a stream. */
 export interface StreamPage {
   readonly records: readonly StoredRecord[];
+  /** Offset at which the next read continues. */
   readonly nextOffset: Offset;
+  /** Offset of the oldest record that the stream still holds. */
   readonly firstOffset: Offset;
 }
 
+/** Limits on what a stream keeps. */
 export interface Retention {
+  /** Largest number of records. */
   readonly records: number;
+  /** Largest age of a record. */
   readonly ageMs: Millis;
 }
 
 /**
- * Streams of records. A stream can hold hundreds of thousands of records, so the table is updated
- * in place and owned by the log child alone.
+ * Records by stream. A stream can hold hundreds of thousands of records, so the table is updated in
+ * place, by the log child alone.
  */
 export interface RecordTable {
   /** Appends records and returns the offset of the first. */
   readonly append: (stream: string, bodies: readonly unknown[], at: Millis) => Offset;
-  /** Drops records that the retention no longer covers. */
+  /** Removes records that exceed the retention limits. */
   readonly expire: (stream: string, retention: Retention, now: Millis) => void;
+  /** Returns at most `limit` records, starting at `from` or at the oldest record that is left. */
   readonly read: (stream: string, from: Offset, limit: number) => StreamPage;
 }
 
 interface Stream {
   records: StoredRecord[];
-  /** Records at the front of the array that are gone. */
+  /** Number of expired records that are still at the front of the array. */
   dropped: number;
   nextOffset: Offset;
 }
 
-/** Dropped records are released from the array in batches, because each release copies the rest. */
+/** Expired records are removed from the array in batches, because each removal copies the rest. */
 const COMPACTION_MIN_RECORDS = 1_024;
 
 const countExpired = (stream: Stream, retention: Retention, now: Millis): number => {
@@ -47,9 +53,9 @@
 };
 
 /**
- * Creates an empty table of streams.
+ * Creates a record table.
  *
- * @returns the table
+ * @returns the empty table
  */
 export const createRecordTable = (): RecordTable => {
   const streams = new Map<string, Stream>();
--- a/packages/standins/platform/platform.test.ts
+++ b/packages/standins/platform/platform.test.ts
@@ -50,8 +50,8 @@
     )
     .map(({ body }) => body);
 
-// Guards against offsets that repeat, move or disappear while retention drops old records.
-test('offsets are dense and retention drops only the oldest records', (t) => {
+// Guards against offsets that repeat, change or go missing when retention removes old records.
+test('offsets are consecutive and retention removes only the oldest records', (t) => {
   const steps = fc.array(fc.integer({ min: 1, max: 700 }), { minLength: 1, maxLength: 20 });
   const run = (counts: readonly number[], keep: number): void => {
     const table = createRecordTable();
@@ -76,8 +76,8 @@
   t.pass();
 });
 
-// Guards against records that outlive the retention age.
-test('records are gone after the retention age', (t) => {
+// Guards against records that are still readable after the retention time.
+test('records are removed after the retention time', (t) => {
   const log = startLog({ retentionMs: 500 });
   log.handle(append(1, 'old'));
   log.clock.advance(400);
@@ -86,8 +86,8 @@
   t.deepEqual(readBodies(log.handle(read(3, 0))), ['new']);
 });
 
-// Guards against a read that polls, misses a record or waits beyond its time.
-test('a waiting read is answered by the next append or by its time', (t) => {
+// Guards against a read that polls, misses a record, is answered twice or outlasts its wait time.
+test('a waiting read is answered by the next append or when its wait time ends', (t) => {
   const log = startLog();
   t.deepEqual(listStatuses(log.handle(read(1, 0, 5_000))), ['schedule']);
   t.deepEqual(readBodies(log.handle(append(2, 'a')).slice(1)), ['a']);
@@ -97,7 +97,7 @@
 });
 
 // Guards against a lost answer whose append took no effect, and against appends during an outage.
-test('log modes: lost answers keep their effect, a log that is down takes none', (t) => {
+test('an append with a lost answer takes effect and a log that is down refuses appends', (t) => {
   const log = startLog();
   log.handle({ kind: 'set-faults', faults: { log: 'lose-answers' } });
   t.deepEqual(listStatuses(log.handle(append(1, 'kept'))), ['drop']);
@@ -110,8 +110,8 @@
   t.deepEqual(readBodies(log.handle(read(5, 0))), ['kept']);
 });
 
-// Guards against a log that takes any number of appends, which would hide a missing group commit.
-test('append requests above the rate are refused with a time to retry', (t) => {
+// Guards against a log without a rate limit, which would hide a missing group commit.
+test('append requests above the rate limit are refused', (t) => {
   const log = startLog({ appendsPerSecond: 40 });
   const statuses = Array.from(
     { length: 12 },
@@ -122,8 +122,8 @@
   t.deepEqual(listStatuses(log.handle(append(13, 1))), [200]);
 });
 
-// Guards against an instance list that shows the present.
-test('the instance list shows the past by its lag', (t) => {
+// Guards against an instance list that ignores its lag and is always current.
+test('the instance list lags behind by the configured time', (t) => {
   const clock = createVirtualClock(1_000);
   const child = createInstancesChild(500, clock);
   const instance: Instance = {
--- a/packages/standins/platform/startPlatformStandin.ts
+++ b/packages/standins/platform/startPlatformStandin.ts
@@ -79,7 +79,7 @@
 /**
  * Starts the stand-in of the platform: log, instance list and weight store.
  *
- * @param options - port, limits, retention and lag
+ * @param options - port, rate limits, retention and delays
  * @returns the running stand-in
  */
 export const startPlatformStandin = async (options: PlatformOptions = {}): Promise<Standin> => {
--- a/packages/standins/platform/supervisor.ts
+++ b/packages/standins/platform/supervisor.ts
@@ -9,8 +9,8 @@
 /**
  * Lists the children of the platform stand-in: log, instance list and weight store.
  *
- * @param settings - limits, retention and lag
- * @param clock - time of all decisions
+ * @param settings - rate limits, retention and delays
+ * @param clock - clock of all decisions
  * @returns the children in start order
  */
 export const listPlatformChildren = (
--- a/packages/standins/platform/types.ts
+++ b/packages/standins/platform/types.ts
@@ -3,18 +3,19 @@
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 
+/** Fault of the log; with `lose-answers`, appends take effect but their answers are lost. */
 export type LogMode = 'up' | 'down' | 'slow' | 'lose-answers';
 
 export type ListMode = 'up' | 'down';
 
-/** One record as the log returns it. */
+/** Record as the log returns it. */
 export interface StoredRecord {
   readonly offset: Offset;
   readonly at: Millis;
   readonly body: unknown;
 }
 
-/** One instance as the platform describes it. */
+/** Instance as the platform lists it. */
 export interface Instance {
   readonly id: string;
   readonly role: 'entry' | 'endpoint';
@@ -27,7 +28,7 @@
   readonly service?: string | undefined;
 }
 
-/** Settings that `POST /faults` changes; a missing field keeps its value. */
+/** Settings that `POST /faults` changes; a missing field keeps its current value. */
 export interface PlatformFaults {
   readonly log?: LogMode | undefined;
   readonly list?: ListMode | undefined;
@@ -87,14 +88,19 @@
 export interface PlatformOptions {
   /** Port on 127.0.0.1; 0 picks a free one. */
   readonly port?: number;
-  /** Append requests that the log takes in a second. */
+  /** Append requests that the log admits per second. */
   readonly appendsPerSecond?: number;
+  /** Records that each stream keeps. */
   readonly retentionRecords?: number;
+  /** Age above which records are removed. */
   readonly retentionMs?: Millis;
+  /** Age of the instance list that callers see. */
   readonly listLagMs?: Millis;
   /** Delay of appends and reads while the log is `slow`. */
   readonly appendDelayMs?: Millis;
+  /** Fetches that the weight store admits per second. */
   readonly weightsPerSecond?: number;
+  /** Fetches that the weight store admits at once. */
   readonly weightsBurst?: number;
 }
 
--- a/packages/standins/platform/weights/weightsChild.ts
+++ b/packages/standins/platform/weights/weightsChild.ts
@@ -6,7 +6,7 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
-/** Rate limit of the weight store. */
+/** State of the weight store: its rate limit. */
 export interface WeightsState {
   readonly bucket: TokenBucket;
 }
@@ -15,10 +15,10 @@
  * Decides one fetch from the weight store.
  *
  * @param state - rate limit before the fetch
- * @param event - fetch
- * @param settings - rate and burst
+ * @param event - model and version to fetch
+ * @param settings - rate and burst of the limit
  * @param now - current instant
- * @returns the next state and the answer
+ * @returns the next state and the effects
  */
 export const decideWeights = (
   state: WeightsState,
@@ -39,15 +39,15 @@
   }
   const { retryAfterMs } = decision;
   const headers = { 'retry-after': Math.ceil(retryAfterMs / 1_000).toString() };
-  const body = { error: 'too many fetches', retryAfterMs };
+  const body = { error: 'too many weight fetches', retryAfterMs };
   return toStep(next, { kind: 'answer', reply, answer: { status: 429, headers, body } });
 };
 
 /**
- * Creates the child that holds the weight store.
+ * Creates the child that owns the weight store.
  *
- * @param settings - rate and burst
- * @param clock - time of fetches
+ * @param settings - rate and burst of the limit
+ * @param clock - clock of the rate limit
  * @returns the decisions of the child
  */
 export const createWeightsChild = (
