Reword the comments and messages of the engine stand-in

An engine 'bears' sequences and 'gets' work; it has a concurrency limit that it sustains, and its steps slow down above it. 'Old' fencing numbers are stale, 'sizes and speeds' are capacity and step times, and 'chance' is the random source. The refusals of a warming engine and of a long prompt are sentences that say what is wrong.

--- a/packages/standins/engine/constants.ts
+++ b/packages/standins/engine/constants.ts
@@ -1,6 +1,6 @@
 import type { EngineSettings } from './types.js';
 
-/** Values of the options that a caller leaves out: one engine of a few dozen sequences. */
+/** Defaults of the options: an engine that runs a few dozen sequences at once. */
 export const DEFAULT_ENGINE_SETTINGS: EngineSettings = {
   model: 'standin',
   version: 'v1',
@@ -27,17 +27,17 @@
   loadVersionMs: 500,
 };
 
-/** Part of a prompt that names its prefix. */
+/** Length of the part of a prompt that the prefix hash covers. */
 export const PREFIX_CHARACTERS = 256;
 
-/** Usual ratio of English text; the stand-in has no tokenizer. */
+/** Typical ratio of English text; estimates token counts, as the stand-in has no tokenizer. */
 export const CHARACTERS_PER_TOKEN = 4;
 
-/** Cache events that the engine keeps for late readers. */
+/** Number of cache events that the engine keeps for readers that fall behind. */
 export const MAX_CACHE_EVENTS = 4_096;
 
-/** Requests whose executions are counted one by one in the statistics. */
+/** Number of request ids whose executions the statistics count separately. */
 export const MAX_COUNTED_REQUESTS = 100_000;
 
-/** Lateness of a timer that the next step makes up for. */
+/** Delay of a timer up to which the next step starts earlier to compensate for it. */
 export const MAX_TIMER_LAG_MS = 20;
--- a/packages/standins/engine/control/controlChild.ts
+++ b/packages/standins/engine/control/controlChild.ts
@@ -4,14 +4,15 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
-/** Orders that the engine took. */
+/** Result of the control orders so far. */
 export interface ControlState {
+  /** Largest fencing number of an accepted order. */
   readonly newestFencing: number;
   readonly role: string;
   readonly adapters: readonly string[];
   readonly accepted: number;
   readonly refused: number;
-  /** Orders with an old fencing number that were carried out because the engine ignores it. */
+  /** Orders that were accepted despite a stale fencing number, because it is not checked. */
   readonly staleAccepted: number;
 }
 
@@ -41,10 +42,10 @@
 /**
  * Decides one control order.
  *
- * @param state - orders so far
+ * @param state - state before the order
  * @param event - order with its fencing number
- * @param settings - whether old fencing numbers are refused
- * @returns the next state, the answer and the order's effect
+ * @param settings - whether stale fencing numbers are refused, and the time to load a version
+ * @returns the next state, the answer and the effects of the order
  */
 export const decideControl = (
   state: ControlState,
@@ -54,7 +55,7 @@
   const { order, reply } = event;
   const isStale = order.fencing < state.newestFencing;
   if (isStale && settings.fencing === 'checked') {
-    const body = { error: 'old fencing number', newestFencing: state.newestFencing };
+    const body = { error: 'stale fencing number', newestFencing: state.newestFencing };
     return toStep<ControlState, EngineEffect>(
       { ...state, refused: state.refused + 1 },
       { kind: 'answer', reply, answer: { status: 409, body } },
@@ -72,9 +73,9 @@
 };
 
 /**
- * Creates the child that takes control orders.
+ * Creates the child that handles control orders.
  *
- * @param settings - whether old fencing numbers are refused, and the time to load a version
+ * @param settings - whether stale fencing numbers are refused, and the time to load a version
  * @returns the decisions of the child
  */
 export const createControlChild = (
--- a/packages/standins/engine/engineParts.test.ts
+++ b/packages/standins/engine/engineParts.test.ts
@@ -20,16 +20,16 @@
   t.not(hashPromptPrefix(build('one')), hashPromptPrefix(shared));
 });
 
-// Guards against token texts that do not prove order and generation.
-test('the first token names the generation and the others their number', (t) => {
+// Guards against token strings that don't show a missing, reordered or foreign token.
+test('the first token contains the generation id and the others their index', (t) => {
   t.deepEqual(
     [0, 1, 17].map((index) => renderToken('abc', index)),
     ['gabc ', 'w1 ', 'w17 '],
   );
 });
 
-// Guards against lengths that differ between two runs of one prompt, and against short tails.
-test('output lengths are repeatable and long-tailed', (t) => {
+// Guards against output lengths that differ between two runs of a prompt or lack a long tail.
+test('output lengths are deterministic and long-tailed', (t) => {
   const lengths = Array.from({ length: 2_000 }, (_, index) =>
     computeOutputTokens(`prompt ${index.toString()}`, 1, 100),
   );
@@ -39,8 +39,8 @@
   t.true(Math.max(...lengths) > 400);
 });
 
-// Guards against a target that ignores the caller's limit.
-test('max_tokens cuts the target and is told as the finish reason', (t) => {
+// Guards against an output longer than the caller's limit.
+test('max_tokens caps the output and sets the finish reason to length', (t) => {
   const build = (body: object) =>
     buildSubmission(
       's',
@@ -54,8 +54,8 @@
   t.deepEqual([whole.targetTokens, whole.finishReason, whole.priority], [9, 'stop', 3]);
 });
 
-// Guards against cache events that are never late or never lost.
-test('cache events are published late and with gaps', (t) => {
+// Guards against cache events that are published at once or never lost.
+test('cache events are published after the lag and with gaps', (t) => {
   const changes = Array.from({ length: 200 }, (_, index) => ({
     kind: 'stored' as const,
     prefix: index.toString(),
@@ -70,15 +70,15 @@
 });
 
 // Guards against a ramp that starts too high or never ends.
-test('the bearable concurrency grows from the cold value until the engine is warm', (t) => {
+test('the concurrency limit grows from the cold value until the engine is warm', (t) => {
   const ramp = { coldConcurrency: 2, warmConcurrency: 12, rampMs: 1_000 };
   t.deepEqual(computeConcurrencyLimit(500, ramp, 500), { kind: 'cold', concurrency: 2 });
   t.deepEqual(computeConcurrencyLimit(500, ramp, 1_000), { kind: 'cold', concurrency: 7 });
   t.deepEqual(computeConcurrencyLimit(500, ramp, 1_500), { kind: 'warm' });
 });
 
-// Guards against a stand-in that refuses old orders where a real endpoint would obey them.
-test('an old fencing number is refused only when the engine checks it', (t) => {
+// Guards against a stand-in that always refuses stale orders, although some engines accept them.
+test('a stale fencing number is refused only when the engine checks it', (t) => {
   const order = { kind: 'load-version', fencing: 3, version: 'v2' } as const;
   const state = {
     newestFencing: 4,
--- a/packages/standins/engine/engineServer.test.ts
+++ b/packages/standins/engine/engineServer.test.ts
@@ -22,7 +22,7 @@
   metadata: { target_tokens: tokens.toString() },
 });
 
-// Guards against an interface that a usual client library cannot read.
+// Guards against answers that a common client library cannot parse.
 test('a chat completions client reads whole and streamed answers', async (t) => {
   const { engine, openai, get } = await startClient();
   t.teardown(engine.close);
@@ -48,7 +48,7 @@
   t.is((await get('/standin/stats')).finished, 2);
 });
 
-// Guards against a generation that goes on after its caller left.
+// Guards against a generation that keeps running after its caller disconnected.
 test('a closed connection cancels its sequence', async (t) => {
   const { engine, openai, get } = await startClient();
   t.teardown(engine.close);
@@ -73,8 +73,8 @@
   t.is((await get('/standin/stats')).lost, 1);
 });
 
-// Guards against control orders whose answer does not tell a refusal.
-test('control orders are answered over HTTP', async (t) => {
+// Guards against a refused control order that is answered as if it was accepted.
+test('control orders are accepted or refused over HTTP', async (t) => {
   const { engine, get, post } = await startClient({ loadVersionMs: 0 });
   t.teardown(engine.close);
   t.is(await post('/control/order', { kind: 'load-version', fencing: 2, version: 'v2' }), 200);
--- a/packages/standins/engine/faults.ts
+++ b/packages/standins/engine/faults.ts
@@ -35,19 +35,20 @@
 /** A fault that a test or a scenario applies to the engine. */
 export type EngineFault = z.infer<typeof ENGINE_FAULT_SCHEMA>;
 
-/** Faults that stay until they are cleared; restarts of the engine keep them. */
+/** Fault that stays until it is cleared, also across restarts of the engine. */
 export type PersistentFault = Extract<
   EngineFault,
   { kind: 'slow' | 'error-rate' | 'errors-under-load' | 'crash-on-content' | 'set-health' }
 >;
 
-/** A lasting fault with the end of its effect. */
+/** Persistent fault with the end of its effect. */
 export interface ActiveFault {
   readonly fault: PersistentFault;
+  /** Infinity for a fault without a time limit. */
   readonly until: Millis;
 }
 
-/** What the faults do to a submission. */
+/** Effect of the faults on a submission. */
 export type FaultDecision =
   | { readonly kind: 'pass' }
   | { readonly kind: 'refuse'; readonly status: number; readonly message: string }
@@ -56,13 +57,13 @@
 const PASS: FaultDecision = { kind: 'pass' };
 
 /**
- * Adds a lasting fault. A fault of the same kind is replaced, except that error rates with other
- * filters stand side by side.
+ * Adds a persistent fault. It replaces a fault of the same kind, except that error rates with
+ * different route or class filters coexist.
  *
- * @param active - faults in force
+ * @param active - active faults
  * @param fault - fault to add
  * @param now - current instant
- * @returns the faults in force
+ * @returns the active faults
  */
 export const addFault = (
   active: readonly ActiveFault[],
@@ -106,13 +107,13 @@
 };
 
 /**
- * Decides what the faults in force do to a submission.
+ * Decides how the active faults affect a submission.
  *
- * @param active - faults in force
+ * @param active - active faults
  * @param submission - request
- * @param running - sequences that run or wait
- * @param draw - next random number in [0, 1)
- * @returns the first fault that acts, or `pass`
+ * @param running - number of sequences that run or wait
+ * @param draw - returns the next random number in [0, 1)
+ * @returns the effect of the first fault that applies, or `pass`
  */
 export const decideFault = (
   active: readonly ActiveFault[],
@@ -128,11 +129,11 @@
 };
 
 /**
- * Computes the factor that the faults put on the step time.
+ * Computes the factor by which the active faults lengthen a step.
  *
- * @param active - faults in force
+ * @param active - active faults
  * @param now - current instant
- * @returns 1 without a slow fault
+ * @returns the factor; 1 without a `slow` fault
  */
 export const computeSlowFactor = (active: readonly ActiveFault[], now: Millis): number =>
   active.reduce(
--- a/packages/standins/engine/outputs.ts
+++ b/packages/standins/engine/outputs.ts
@@ -3,27 +3,29 @@
 import type { FinishReason, SequenceId, Usage } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-/** Shape in which a caller wants its answer. */
+/** Form in which a caller requested its answer. */
 export type OutputMode =
   | { readonly kind: 'whole' }
   | { readonly kind: 'stream'; readonly usage: 'with-usage' | 'without-usage' };
 
-/** Answers in progress, by generation. */
+/** Answers in progress, by sequence. */
 export interface Outputs {
-  /** Registers an answer; `onGone` is called when the caller leaves before the end. */
+  /** Registers an answer; `onDisconnect` is called if the caller disconnects before its end. */
   readonly open: (
     sequence: SequenceId,
     reply: FastifyReply,
     mode: OutputMode,
     onDisconnect: () => void,
   ) => void;
+  /** Adds one token to the answer. */
   readonly emit: (sequence: SequenceId, index: number) => void;
   readonly finish: (sequence: SequenceId, reason: FinishReason, usage: Usage) => void;
   readonly refuse: (sequence: SequenceId, status: number, message: string) => void;
+  /** Closes the connection of an answer before its end. */
   readonly break: (sequence: SequenceId) => void;
 }
 
-/** Names that each answer carries. */
+/** Model and version that each answer contains. */
 export interface OutputMetadata {
   readonly model: string;
   readonly getVersion: () => string;
@@ -34,6 +36,7 @@
   readonly mode: OutputMode;
   readonly created: number;
   readonly version: string;
+  /** Content so far; only used for a `whole` answer. */
   text: string;
 }
 
@@ -52,7 +55,7 @@
 
 /**
  * Creates the register of answers in progress. Answers are written to the raw response, because
- * tokens come from effects of the loop and not from the request's handler.
+ * tokens are produced by effects of the event loop and not by the request's handler.
  *
  * @param metadata - model and version
  * @returns the empty register
--- a/packages/standins/engine/pages.ts
+++ b/packages/standins/engine/pages.ts
@@ -8,6 +8,7 @@
 import type { EngineViews } from './supervisor.js';
 import type { Clock } from '../../core/clock.js';
 
+/** Metrics by name, each with the function that reads its value. */
 const METRICS = {
   engine_running_sequences: ({ batch }: SchedulerState) => batch.running.length,
   engine_waiting_sequences: ({ batch }: SchedulerState) => batch.waiting.length,
@@ -57,11 +58,11 @@
 };
 
 /**
- * Registers the pages that only read the engine's state.
+ * Registers the HTTP routes that only read the engine's state.
  *
  * @param app - HTTP server
- * @param views - states to read
- * @param clock - current time
+ * @param views - views of the children's states
+ * @param clock - clock for ages and health
  */
 export const registerStatusRoutes = (
   app: FastifyInstance,
@@ -88,7 +89,7 @@
       memoryShare: countUsedTokens(batch.running) / settings.memoryTokens,
     };
   };
-  // The same without the counts by request id, for readers that ask often.
+  // The statistics without the counts by request id, for clients that poll often.
   app.get('/standin/counters', async () => buildCounters());
   app.get('/standin/stats', async () => ({
     ...buildCounters(),
--- a/packages/standins/engine/prompts.ts
+++ b/packages/standins/engine/prompts.ts
@@ -2,12 +2,13 @@
 import { CHARACTERS_PER_TOKEN, PREFIX_CHARACTERS } from './constants.js';
 import { createSeededSource } from '../common/seededSource.js';
 
-/** Part of a message's content; parts that are not text count as nothing. */
+/** Part of a message's content; parts other than text are ignored. */
 export interface ContentPart {
   readonly type: string;
   readonly text?: string | undefined;
 }
 
+/** Message of a chat completions request. */
 export interface Message {
   readonly role: string;
   readonly content?: string | readonly ContentPart[] | null | undefined;
@@ -21,7 +22,7 @@
 };
 
 /**
- * Builds the text of a prompt.
+ * Builds the prompt of a request.
  *
  * @param messages - messages of a chat completions request
  * @returns the contents of all messages, concatenated
@@ -30,7 +31,7 @@
   messages.map(formatContent).join('');
 
 /**
- * Hashes the part of a prompt that the engine's prefix cache is keyed by.
+ * Hashes the part of a prompt that is the key of the engine's prefix cache.
  *
  * @param prompt - contents of all messages, concatenated
  * @returns 16 hexadecimal digits
@@ -39,7 +40,7 @@
   createHash('sha256').update(prompt.slice(0, PREFIX_CHARACTERS)).digest('hex').slice(0, 16);
 
 /**
- * Estimates the length of a prompt.
+ * Estimates the number of tokens of a prompt from its length in characters.
  *
  * @param prompt - contents of all messages, concatenated
  * @returns tokens, at least one
@@ -48,12 +49,12 @@
   Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
 
 /**
- * Computes the length of an output that the request does not fix. Lengths are exponential around
- * the mean, so that a few outputs are many times longer than most.
+ * Computes the output length of a request that doesn't specify it. Lengths are exponentially
+ * distributed, so that a few outputs are many times longer than most.
  *
  * @param prompt - contents of all messages, concatenated
  * @param seed - seed of the engine
- * @param meanTokens - mean length
+ * @param meanTokens - mean length in tokens
  * @returns tokens, at least one; the same for the same prompt and seed
  */
 export const computeOutputTokens = (prompt: string, seed: number, meanTokens: number): number => {
@@ -62,12 +63,12 @@
 };
 
 /**
- * Renders one token. The first names the generation and the others their number, so that a reader
- * can prove order and single generation.
+ * Renders one token. The first token contains the generation's id and the others their index, so
+ * that a reader can verify that the tokens are in order and come from a single generation.
  *
  * @param generation - id of the generation
- * @param index - number of the token, from 0
- * @returns the text, with its trailing space
+ * @param index - index of the token, from 0
+ * @returns the token, with a trailing space
  */
 export const renderToken = (generation: string, index: number): string =>
   index === 0 ? `g${generation} ` : `w${index.toString()} `;
--- a/packages/standins/engine/scheduler/batch.test.ts
+++ b/packages/standins/engine/scheduler/batch.test.ts
@@ -30,8 +30,8 @@
 const listIds = (sequences: readonly Sequence[]): readonly string[] =>
   sequences.map(({ id }) => id);
 
-// Guards against an engine that holds more than its memory, loses a sequence or never ends one.
-test('every sequence gets exactly its tokens and memory is never exceeded', (t) => {
+// Guards against a batch that exceeds its memory, loses a sequence or never finishes one.
+test('every sequence produces exactly its tokens and memory is never exceeded', (t) => {
   const sequenceArbitrary = fc.record({
     priority: fc.integer({ min: 0, max: 2 }),
     promptTokens: fc.integer({ min: 1, max: 60 }),
@@ -54,7 +54,8 @@
       const result = finishStep(plan.batch, settings, now);
       batch = result.batch;
       const held = countUsedTokens(batch.running) + countCachedTokens(batch.cache);
-      if (held > settings.memoryTokens) throw new Error(`${held.toString()} tokens are held`);
+      if (held > settings.memoryTokens)
+        throw new Error(`${held.toString()} tokens exceed the memory`);
       for (const { id, generated } of result.emitted) {
         if (generated !== (tokens.get(id) ?? 0) + 1) throw new Error(`token of ${id} out of order`);
         tokens.set(id, generated);
@@ -72,8 +73,8 @@
   t.pass();
 });
 
-// Guards against preemption of urgent or old work in place of the newest background work.
-test('full memory preempts the least urgent, then the newest sequence', (t) => {
+// Guards against preemption of urgent or early sequences instead of the newest of lowest priority.
+test('full memory preempts the sequence of lowest priority, the newest among equals', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 42 };
   const running = [
     createSequence(0, { generated: 4 }),
@@ -87,8 +88,8 @@
   t.deepEqual(listIds(planStep({ ...EMPTY, running: equal }, settings, 50).preempted), ['s2']);
 });
 
-// Guards against a stall that is not counted, or a resumed sequence that starts over.
-test('a preempted sequence resumes after recomputing and reports its stall', (t) => {
+// Guards against a stall that is not measured, or a resumed sequence that loses its tokens.
+test('a preempted sequence resumes after recomputation and its stall is measured', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, prefillTokensPerStep: 100 };
   const waiting = [createSequence(0, { generated: 5, stalledSince: 100 })];
   const plan = planStep({ ...EMPTY, waiting }, settings, 300);
@@ -98,8 +99,8 @@
   t.is(result.stalledMs, 250);
 });
 
-// Guards against an urgent request that queues behind background work.
-test('a more urgent sequence takes the memory of a less urgent one', (t) => {
+// Guards against an urgent sequence that waits behind one of lower priority.
+test('a more urgent sequence preempts a less urgent one when memory is full', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 40 };
   const running = [createSequence(0, { priority: 2, promptTokens: 30 })];
   const batch = addWaiting({ ...EMPTY, running }, createSequence(1, { promptTokens: 30 }));
@@ -108,7 +109,7 @@
   t.deepEqual(listIds(plan.batch.waiting), ['s0']);
 });
 
-// Guards against a cached prefix that saves nothing or is kept when sequences need its memory.
+// Guards against a cached prefix that saves no prefill or is kept when sequences need its memory.
 test('a cached prefix shortens the prefill and is evicted for sequences', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 100, cachedPrefixTokens: 40 };
   const prompt = { promptTokens: 50, prefix: 'shared', targetTokens: 1 };
@@ -122,8 +123,8 @@
   t.deepEqual(large.changes, [{ kind: 'evicted', prefix: 'shared' }]);
 });
 
-// Guards against a sequence that fills the whole memory and blocks the engine for good.
-test('a sequence alone in full memory ends with its length', (t) => {
+// Guards against a sequence that fills the whole memory and blocks the engine forever.
+test('a sequence that fills the whole memory on its own is finished', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 20 };
   const running = [createSequence(0, { generated: 9, targetTokens: 500 })];
   const result = finishStep(planStep({ ...EMPTY, running }, settings, 0).batch, settings, 1);
--- a/packages/standins/engine/scheduler/batch.ts
+++ b/packages/standins/engine/scheduler/batch.ts
@@ -14,46 +14,48 @@
   | 'prefillMsPerToken'
 >;
 
-/** Sequences and cache between two steps. */
+/** Sequences and prefix cache of the engine. */
 export interface Batch {
-  /** Sequences that hold memory, in order of admission. */
+  /** Sequences that use memory, in order of admission. */
   readonly running: readonly Sequence[];
-  /** Sequences without memory, best priority and earliest arrival first. */
+  /** Sequences that use no memory, in scheduling order. */
   readonly waiting: readonly Sequence[];
   readonly cache: PrefixCache;
 }
 
-/** A step that was planned and takes its time. */
+/** Planned step with its duration. */
 export interface PlannedStep {
   readonly batch: Batch;
   readonly preempted: readonly Sequence[];
+  /** Prefixes that the plan evicted from the cache. */
   readonly changes: readonly CacheChange[];
   readonly durationMs: Millis;
 }
 
-/** Result of a step at its end. */
+/** Result of a finished step. */
 export interface StepResult {
   readonly batch: Batch;
-  /** Sequences that got a token, as they are after it. */
+  /** Sequences that produced a token, including that token. */
   readonly emitted: readonly Sequence[];
   readonly finished: readonly Sequence[];
+  /** Prefixes that the step added to the cache. */
   readonly changes: readonly CacheChange[];
-  /** Time for which resumed sequences had stood still. */
+  /** Total time from preemption to the next token, of the sequences that resumed in this step. */
   readonly stalledMs: Millis;
 }
 
 /**
- * Compares two sequences by who runs first.
+ * Compares two sequences by scheduling order: lower priority value first, then earlier arrival.
  *
  * @param left - a sequence
- * @param right - another
- * @returns negative when the left one runs first
+ * @param right - another sequence
+ * @returns a negative number if the left sequence runs first
  */
 export const compareUrgency = (left: Sequence, right: Sequence): number =>
   left.priority - right.priority || left.arrival - right.arrival;
 
 /**
- * Counts the memory that running sequences hold.
+ * Counts the memory that running sequences use.
  *
  * @param running - sequences in the batch
  * @returns tokens
@@ -65,11 +67,11 @@
   [...running].sort(compareUrgency).at(-1);
 
 /**
- * Adds a sequence to those that wait.
+ * Adds a sequence to the waiting ones, in scheduling order.
  *
- * @param batch - batch
- * @param sequence - sequence without memory
- * @returns the batch with the sequence in its place
+ * @param batch - batch before the addition
+ * @param sequence - sequence that uses no memory
+ * @returns the batch with the sequence
  */
 export const addWaiting = (batch: Batch, sequence: Sequence): Batch => {
   const position = batch.waiting.findIndex((other) => compareUrgency(sequence, other) < 0);
@@ -77,7 +79,7 @@
   return { ...batch, waiting: batch.waiting.toSpliced(index, 0, sequence) };
 };
 
-/** Work in progress on one plan. */
+/** Step while it is being planned. */
 interface StepDraft {
   readonly batch: Batch;
   readonly preempted: readonly Sequence[];
@@ -105,7 +107,10 @@
 const countMissingTokens = (batch: Batch, neededTokens: number, memoryTokens: number): number =>
   countUsedTokens(batch.running) + countCachedTokens(batch.cache) + neededTokens - memoryTokens;
 
-/** Makes room for the next token of each running sequence. */
+/**
+ * Frees memory for the next token of each running sequence: evicts cached prefixes first, then
+ * preempts sequences.
+ */
 const releaseForGrowth = (start: StepDraft, settings: BatchSettings, now: Millis): StepDraft => {
   let draft = start;
   for (;;) {
@@ -154,7 +159,7 @@
   return countUsedTokens(batch.running) + needed <= settings.memoryTokens;
 };
 
-/** Admits waiting sequences in order, at the cost of less important ones where memory is full. */
+/** Admits waiting sequences in order; preempts sequences of lower priority to make room. */
 const admitWaiting = (start: StepDraft, settings: BatchSettings, now: Millis): StepDraft => {
   let draft = start;
   for (;;) {
@@ -170,7 +175,7 @@
   }
 };
 
-/** Spreads the step's prefill budget over the sequences in order of admission. */
+/** Distributes the prefill budget of the step over the sequences, in order of admission. */
 const planPrefill = (
   running: readonly Sequence[],
   budget: number,
@@ -185,17 +190,18 @@
 };
 
 /**
- * Plans the next step: preempts where memory is full, admits what fits and computes prompts.
+ * Plans the next step: preempts sequences if memory is full, admits waiting ones that fit and
+ * distributes the prefill budget.
  *
  * @param batch - sequences and cache before the step
- * @param settings - sizes and speeds
+ * @param settings - capacity and step times
  * @param now - current instant
- * @returns the batch of the step and the time that it takes
+ * @returns the batch of the step and its duration
  */
 export const planStep = (batch: Batch, settings: BatchSettings, now: Millis): PlannedStep => {
   const afterGrowth = releaseForGrowth({ batch, preempted: [], changes: [] }, settings, now);
-  // After a preemption nothing is admitted, or the freed memory would go to the next in line and
-  // the step after it would preempt again.
+  // After a preemption nothing is admitted. Otherwise the freed memory would go to the next waiting
+  // sequence and the following step would preempt again.
   const draft =
     afterGrowth.preempted.length > 0 ? afterGrowth : admitWaiting(afterGrowth, settings, now);
   const { running, computed } = planPrefill(draft.batch.running, settings.prefillTokensPerStep);
@@ -228,18 +234,18 @@
   return { cache, changes };
 };
 
-/** A sequence that fills the whole memory alone ends there, as no preemption can help it. */
+/** A sequence that fills the whole memory on its own ends, because no preemption can free more. */
 const isFinished = (sequence: Sequence, settings: BatchSettings): boolean =>
   sequence.generated >= sequence.targetTokens ||
   sequence.promptTokens + sequence.generated >= settings.memoryTokens;
 
 /**
- * Settles a step: each sequence whose prompt is computed gets its next token.
+ * Finishes a step: each sequence whose prefill is complete produces its next token.
  *
- * @param batch - batch of the step, without sequences cancelled since
- * @param settings - sizes and speeds
+ * @param batch - batch of the step, without sequences that were cancelled during it
+ * @param settings - capacity of memory and prefix cache
  * @param now - end of the step
- * @returns the batch after the step and what it produced
+ * @returns the batch after the step, its tokens and its changes to the cache
  */
 export const finishStep = (batch: Batch, settings: BatchSettings, now: Millis): StepResult => {
   const ready = batch.running.filter(({ prefillLeft }) => prefillLeft === 0);
--- a/packages/standins/engine/scheduler/cacheLog.ts
+++ b/packages/standins/engine/scheduler/cacheLog.ts
@@ -2,13 +2,13 @@
 import { MAX_CACHE_EVENTS } from '../constants.js';
 import type { Millis } from '../../../core/clock.js';
 
-/** One event as readers see it. */
+/** Change of the prefix cache as readers see it. */
 export interface CacheEvent extends CacheChange {
   readonly sequence: number;
   readonly at: Millis;
 }
 
-/** Cache events in order; some numbers are missing, as a real event channel loses messages. */
+/** Cache events in order. Sequence numbers have gaps, as a real event channel loses messages. */
 export interface CacheLog {
   readonly events: readonly CacheEvent[];
   readonly nextSequence: number;
@@ -17,14 +17,14 @@
 export const EMPTY_CACHE_LOG: CacheLog = { events: [], nextSequence: 0 };
 
 /**
- * Records changes of the cache and loses some of them.
+ * Appends changes of the cache as events, of which a random share is lost.
  *
  * @param log - events so far
  * @param changes - changes in order
  * @param lossShare - share of events that are lost
- * @param draw - next random number in [0, 1)
+ * @param draw - returns the next random number in [0, 1)
  * @param now - instant of the changes
- * @returns the log with the changes that were kept
+ * @returns the log with the events that were not lost
  */
 export const appendCacheEvents = (
   log: CacheLog,
@@ -50,10 +50,10 @@
  * Reads the events that are old enough to be published.
  *
  * @param log - events so far
- * @param from - first sequence number wanted
+ * @param from - first sequence number to return
  * @param lagMs - age at which an event is published
  * @param now - current instant
- * @returns the events and the number to ask for next
+ * @returns the events and the sequence number from which to continue
  */
 export const readCacheEvents = (
   log: CacheLog,
--- a/packages/standins/engine/scheduler/load.ts
+++ b/packages/standins/engine/scheduler/load.ts
@@ -5,11 +5,11 @@
 import type { Millis } from '../../../core/clock.js';
 
 /**
- * Computes the load figures of this instant.
+ * Computes the current load figures.
  *
- * @param state - engine
+ * @param state - state of the engine
  * @param now - current instant
- * @returns the figures; the token rate covers the time since the last publication
+ * @returns the figures; the token rate is the mean since the last publication
  */
 export const computeLoad = (state: SchedulerState, now: Millis): LoadFigures => {
   const seconds = (now - state.published.at) / 1_000;
@@ -28,11 +28,11 @@
 };
 
 /**
- * Computes what the health page says.
+ * Computes the status that the engine reports on `/health`.
  *
- * @param state - engine
+ * @param state - state of the engine
  * @param now - current instant
- * @returns the health; a `set-health` fault goes before the engine's own
+ * @returns the status; a `set-health` fault overrides the engine's own
  */
 export const computeHealth = (state: SchedulerState, now: Millis): EngineHealth => {
   for (const { fault } of state.faults) if (fault.kind === 'set-health') return fault.health;
--- a/packages/standins/engine/scheduler/prefixCache.ts
+++ b/packages/standins/engine/scheduler/prefixCache.ts
@@ -1,5 +1,6 @@
-/** One cached prefix. */
+/** Entry of the prefix cache. */
 export interface CachedPrefix {
+  /** Hash of the prefix. */
   readonly prefix: string;
   readonly tokens: number;
 }
@@ -7,7 +8,7 @@
 /** Cached prefixes, least recently used first. */
 export type PrefixCache = readonly CachedPrefix[];
 
-/** Change of the cache, as the engine's cache events tell it. */
+/** Change of the cache, published as a cache event. */
 export interface CacheChange {
   readonly kind: 'stored' | 'evicted';
   readonly prefix: string;
@@ -23,21 +24,21 @@
   cache.reduce((sum, { tokens }) => sum + tokens, 0);
 
 /**
- * Finds a prefix.
+ * Finds the number of tokens that a cached prefix covers.
  *
  * @param cache - cached prefixes
  * @param prefix - hash of the prefix
- * @returns its tokens, 0 when it is not cached
+ * @returns tokens; 0 if the prefix is not cached
  */
 export const findCachedTokens = (cache: PrefixCache, prefix: string): number =>
   cache.find((entry) => entry.prefix === prefix)?.tokens ?? 0;
 
 /**
- * Moves a prefix to the recently used end.
+ * Marks a prefix as the most recently used.
  *
  * @param cache - cached prefixes
- * @param prefix - prefix that was used
- * @returns the cache, unchanged when the prefix is not in it
+ * @param prefix - hash of the prefix
+ * @returns the cache, unchanged if the prefix is not cached
  */
 export const updateRecency = (cache: PrefixCache, prefix: string): PrefixCache => {
   const used = cache.find((entry) => entry.prefix === prefix);
@@ -50,7 +51,7 @@
  *
  * @param cache - cached prefixes
  * @param neededTokens - tokens to free
- * @returns the rest of the cache and what was evicted
+ * @returns the remaining and the evicted prefixes
  */
 export const pruneCache = (
   cache: PrefixCache,
--- a/packages/standins/engine/scheduler/ramp.ts
+++ b/packages/standins/engine/scheduler/ramp.ts
@@ -3,17 +3,20 @@
 
 type RampSettings = Pick<EngineSettings, 'coldConcurrency' | 'warmConcurrency' | 'rampMs'>;
 
-/** Sequences that an engine bears; a warm engine queues what is too much. */
+/**
+ * Number of sequences that an engine sustains. Beyond it, a cold engine slows down sharply, while a
+ * warm one queues the excess.
+ */
 export type ConcurrencyLimit =
   { readonly kind: 'cold'; readonly concurrency: number } | { readonly kind: 'warm' };
 
 /**
- * Computes what an engine bears after its warm-up.
+ * Computes the concurrency limit of an engine, which grows linearly after its warm-up.
  *
  * @param readyAt - end of the warm-up
- * @param settings - ramp
+ * @param settings - limits at both ends of the ramp and its duration
  * @param now - current instant
- * @returns the number of sequences while the engine is cold
+ * @returns the limit of a cold engine, or `warm` after the ramp
  */
 export const computeConcurrencyLimit = (
   readyAt: Millis,
--- a/packages/standins/engine/scheduler/requestCounts.ts
+++ b/packages/standins/engine/scheduler/requestCounts.ts
@@ -1,8 +1,8 @@
 import { MAX_COUNTED_REQUESTS } from '../constants.js';
 
 /**
- * Executions per request id. A run can have tens of thousands of requests, so the counts are
- * updated in place; the oldest ids are dropped above a bound.
+ * Number of executions by request id. A run can have tens of thousands of requests, so the counts
+ * are updated in place; the oldest ids are removed above `MAX_COUNTED_REQUESTS`.
  */
 export interface RequestCounts {
   readonly add: (requestId: string) => void;
@@ -10,9 +10,9 @@
 }
 
 /**
- * Creates empty counts.
+ * Creates the counts of executions by request id.
  *
- * @returns the counts
+ * @returns the empty counts
  */
 export const createRequestCounts = (): RequestCounts => {
   const counts = new Map<string, number>();
--- a/packages/standins/engine/scheduler/restart.ts
+++ b/packages/standins/engine/scheduler/restart.ts
@@ -9,12 +9,12 @@
 import { toStep } from '../../../core/step.js';
 
 /**
- * Starts the engine again without sequences, cache or warmth.
+ * Restarts the engine cold: without sequences and cache, and with a new warm-up.
  *
- * @param state - engine before
- * @param downMs - time before its warm-up begins
+ * @param state - state of the engine before the restart
+ * @param downMs - time until the warm-up begins
  * @param environment - time and start identities
- * @returns the cold engine; the connections of its sequences break
+ * @returns the cold engine, and the effects that close the connections of its lost sequences
  */
 export const restartEngine = (
   state: SchedulerState,
@@ -40,12 +40,12 @@
 };
 
 /**
- * Applies a fault.
+ * Applies a fault to the engine.
  *
- * @param state - engine
+ * @param state - state of the engine
  * @param fault - fault to apply
  * @param environment - time and start identities
- * @returns the engine under the fault
+ * @returns the next state and the effects of the fault
  */
 export const applyFault = (
   state: SchedulerState,
--- a/packages/standins/engine/scheduler/schedulerChild.test.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.test.ts
@@ -17,7 +17,7 @@
   cacheEventLossShare: 0,
 };
 
-/** Runs the scheduler on a virtual clock; its timers fire in order when time advances. */
+/** Runs the scheduler on a virtual clock; its timers fire in order as time advances. */
 const startEngine = (overrides: Partial<EngineSettings> = {}) => {
   const clock = createVirtualClock();
   let starts = 0;
@@ -85,8 +85,8 @@
   ...fields,
 });
 
-// Guards against an engine that takes work before it is ready.
-test('a warming engine refuses work and turns ready after its warm-up', (t) => {
+// Guards against an engine that accepts work before it is ready.
+test('a warming engine refuses work and becomes ready after its warm-up', (t) => {
   const engine = startEngine();
   engine.submit('a');
   t.deepEqual(
@@ -98,8 +98,8 @@
   t.is(computeHealth(engine.getState(), engine.now()), 'ready');
 });
 
-// Guards against a cold engine that carries a full load, which would hide a missing ramp.
-test('a cold engine collapses above what it bears, a warm one does not', (t) => {
+// Guards against a cold engine that sustains full load, which would hide a missing ramp.
+test('a cold engine slows down above its concurrency limit, a warm one does not', (t) => {
   const measure = (count: number, warmMs: number) => {
     const engine = startEngine();
     engine.advance(100 + warmMs);
@@ -116,8 +116,8 @@
   t.is(measure(30, 1_000).overloads, 0);
 });
 
-// Guards against a step time that does not depend on the batch, which would make batching free.
-test('step time grows with the batch and with a slow fault', (t) => {
+// Guards against a step duration independent of the batch size, which would make batching free.
+test('step duration grows with the batch and with a slow fault', (t) => {
   const engine = startEngine({ rampMs: 0 });
   engine.advance(100);
   engine.submit('a', { targetTokens: 1_000 });
@@ -134,8 +134,8 @@
   t.true(engine.list('emit').length - alone - steps < steps * 0.35);
 });
 
-// Guards against a restart that keeps sequences, its identity or its warmth.
-test('a cold restart and a crash drop all sequences under a new start identity', (t) => {
+// Guards against a restart that keeps sequences, the start identity or the warm state.
+test('a cold restart and a crash lose all sequences and change the start identity', (t) => {
   const engine = startEngine({ rampMs: 0 });
   engine.advance(100);
   engine.submit('a');
@@ -155,8 +155,8 @@
   t.is(engine.getState().stats.lost, 2);
 });
 
-// Guards against a cancelled or frozen sequence that goes on.
-test('a cancelled sequence gets no token and a frozen engine makes no step', (t) => {
+// Guards against a cancelled sequence or a frozen engine that continues to produce tokens.
+test('a cancelled sequence produces no token and a frozen engine runs no step', (t) => {
   const engine = startEngine({ rampMs: 0 });
   engine.advance(100);
   engine.submit('a', { targetTokens: 1_000 });
@@ -178,8 +178,8 @@
   t.true(engine.getState().stats.tokens > tokens);
 });
 
-// Guards against faults that hit other routes or classes than the ones they name.
-test('error faults follow their filter and the load', (t) => {
+// Guards against faults that apply to other routes or classes than those of their filter.
+test('error faults apply according to their filter and to the load', (t) => {
   const engine = startEngine({ rampMs: 0 });
   engine.advance(100);
   engine.applyFault({ kind: 'error-rate', share: 1, route: 'claims', status: 502 });
@@ -204,8 +204,8 @@
   );
 });
 
-// Guards against a load page that tells the present, which no real engine does.
-test('the load page lags by its interval', (t) => {
+// Guards against load figures that are always current, which no real engine reports.
+test('the load figures lag by their interval', (t) => {
   const engine = startEngine({ rampMs: 0 });
   engine.advance(150);
   engine.submit('a', { targetTokens: 1_000 });
--- a/packages/standins/engine/scheduler/schedulerChild.ts
+++ b/packages/standins/engine/scheduler/schedulerChild.ts
@@ -48,7 +48,7 @@
   stalledSince: 'not-stalled',
 });
 
-/** Collapses a cold engine that got more than it bears. */
+/** Slows a cold engine down for a time if it has more sequences than its concurrency limit. */
 const applyColdLimit = (state: SchedulerState, now: Millis): SchedulerState => {
   const limit = computeConcurrencyLimit(state.readyAt, state.settings, now);
   const inFlight = state.batch.running.length + state.batch.waiting.length;
@@ -87,9 +87,9 @@
   environment: SchedulerEnvironment,
 ): SchedulerStep => {
   const id = submission.sequence;
-  if (environment.now() < state.readyAt) return refuse(state, id, 503, 'the engine warms up');
+  if (environment.now() < state.readyAt) return refuse(state, id, 503, 'the engine is warming up');
   if (submission.promptTokens + 1 > state.settings.memoryTokens) {
-    return refuse(state, id, 400, 'the prompt is longer than the memory');
+    return refuse(state, id, 400, 'the prompt does not fit in the memory of the engine');
   }
   const inFlight = state.batch.running.length + state.batch.waiting.length;
   const decision = decideFault(state.faults, submission, inFlight, environment.random.next);
@@ -136,10 +136,10 @@
 /**
  * Decides one event of the engine.
  *
- * @param state - engine before the event
+ * @param state - state of the engine before the event
  * @param event - submission, cancellation, timer or fault
- * @param environment - time, chance and start identities
- * @returns the next state and what the callers get
+ * @param environment - time, random numbers and start identities
+ * @returns the next state and the effects
  */
 export const decideScheduler = (
   state: SchedulerState,
@@ -165,10 +165,10 @@
 };
 
 /**
- * Creates the child that batches sequences.
+ * Creates the child that runs sequences in batches.
  *
- * @param settings - sizes and speeds of the engine
- * @param environment - time, chance and start identities
+ * @param settings - settings of the engine
+ * @param environment - time, random numbers and start identities
  * @returns the decisions of the child
  */
 export const createSchedulerChild = (
--- a/packages/standins/engine/scheduler/state.ts
+++ b/packages/standins/engine/scheduler/state.ts
@@ -6,7 +6,7 @@
 import type { EngineEffect, EngineSettings } from '../types.js';
 import type { Step } from '../../../core/step.js';
 
-/** Step of the scheduler. */
+/** Result of a decision of the scheduler. */
 export type SchedulerStep = Step<SchedulerState, EngineEffect>;
 
 /** Batch of an engine that has just started. */
@@ -29,11 +29,11 @@
 };
 
 /**
- * Changes statistics.
+ * Replaces the values of some statistics.
  *
- * @param state - engine
+ * @param state - state of the engine
  * @param changes - new values
- * @returns the engine with them
+ * @returns the state with the new values
  */
 export const updateStats = (
   state: SchedulerState,
@@ -46,10 +46,10 @@
 /**
  * Records changes of the prefix cache as cache events.
  *
- * @param state - engine
+ * @param state - state of the engine
  * @param changes - changes in order
- * @param environment - time and chance
- * @returns the engine with the events that were kept
+ * @param environment - time and random numbers
+ * @returns the state with the events that were not lost
  */
 export const recordCacheChanges = (
   state: SchedulerState,
@@ -67,11 +67,11 @@
 });
 
 /**
- * Builds the state of an engine that starts now.
+ * Creates the state of an engine that starts now.
  *
- * @param settings - sizes and speeds
+ * @param settings - settings of the engine
  * @param environment - time and start identities
- * @returns the state
+ * @returns the initial state
  */
 export const initScheduler = (
   settings: EngineSettings,
--- a/packages/standins/engine/scheduler/stepping.ts
+++ b/packages/standins/engine/scheduler/stepping.ts
@@ -14,18 +14,19 @@
 };
 
 /**
- * Finds the instant from which the next step counts: the planned end of the last one, so that late
- * timers do not add up, unless the process was held up for longer.
+ * Finds the instant at which the next step starts: the planned end of the last one, so that timer
+ * delays don't accumulate. A delay of `MAX_TIMER_LAG_MS` or more, as after a pause of the process,
+ * is not made up for.
  */
 const findStepStart = ({ phase }: SchedulerState, now: Millis): Millis =>
   phase.kind === 'stepping' && now - phase.dueAt < MAX_TIMER_LAG_MS ? phase.dueAt : now;
 
 /**
- * Begins the next step, or goes idle when nothing runs.
+ * Starts the next step, or goes idle if no sequence runs.
  *
- * @param state - engine between two steps
- * @param environment - time and chance
- * @returns the engine in its step, with the timer of its end
+ * @param state - state of the engine between two steps
+ * @param environment - time and random numbers
+ * @returns the next state and the timer of the step's end
  */
 export const startStep = (
   state: SchedulerState,
@@ -69,12 +70,12 @@
 });
 
 /**
- * Ends a step: sends its tokens and begins the next one.
+ * Ends a step: emits its tokens and starts the next one.
  *
- * @param state - engine in a step
- * @param step - number of the step that is due; another than the current one is ignored
- * @param environment - time and chance
- * @returns the engine after the step, with tokens and ends of generations
+ * @param state - state of the engine during a step
+ * @param step - number of the step that is due; ignored if it is not the current one
+ * @param environment - time and random numbers
+ * @returns the next state, with the effects for new tokens and finished generations
  */
 export const handleStepDue = (
   state: SchedulerState,
--- a/packages/standins/engine/scheduler/types.ts
+++ b/packages/standins/engine/scheduler/types.ts
@@ -6,14 +6,14 @@
 import type { Millis } from '../../../core/clock.js';
 import type { RandomSource } from '../../../core/random.js';
 
-/** What the scheduler takes from outside its state. */
+/** Inputs of the scheduler's decisions that are not part of its state. */
 export interface SchedulerEnvironment {
   readonly now: () => Millis;
   readonly random: RandomSource;
   readonly createStartId: () => string;
 }
 
-/** Counts since the stand-in started; restarts of the engine keep them. */
+/** Statistics since the stand-in started; they are kept when the engine restarts. */
 export interface SchedulerStats {
   readonly started: number;
   readonly startedByVersion: Readonly<Record<string, number>>;
@@ -24,15 +24,18 @@
   readonly lost: number;
   readonly tokens: number;
   readonly preemptions: number;
+  /** Total time from preemptions to the next token of the preempted sequences. */
   readonly stalledMs: Millis;
+  /** Submissions that exceeded the concurrency limit of a cold engine. */
   readonly overloadedWhileCold: number;
+  /** Largest number of sequences in a step. */
   readonly maxRunning: number;
-  /** Largest share of memory that sequences held at the end of a step. */
+  /** Largest share of memory that sequences used in a step. */
   readonly maxMemoryShare: number;
   readonly restarts: number;
 }
 
-/** Load figures as they were at one instant. */
+/** Load figures at one instant. */
 export interface LoadFigures {
   readonly startId: string;
   readonly running: number;
@@ -45,28 +48,36 @@
   readonly at: Millis;
 }
 
+/** Whether a step is running, with its number and its planned end. */
 export type StepPhase =
   | { readonly kind: 'idle' }
   | { readonly kind: 'stepping'; readonly number: number; readonly dueAt: Millis };
 
-/** State of the engine: its identity, its batch and its faults. */
+/** State of the engine. */
 export interface SchedulerState {
   readonly settings: EngineSettings;
+  /** Identity of the engine since its last start. */
   readonly startId: string;
+  /** Version that new sequences are generated with. */
   readonly version: string;
   /** End of the warm-up. */
   readonly readyAt: Millis;
   readonly batch: Batch;
   readonly phase: StepPhase;
+  /** Number of steps started. */
   readonly steps: number;
+  /** Number of sequences that arrived. */
   readonly arrivals: number;
+  /** Until this instant, steps are slowed down by `collapseFactor`. */
   readonly collapsedUntil: Millis;
+  /** Until this instant, no step ends and no load figures are published. */
   readonly frozenUntil: Millis;
   readonly faults: readonly ActiveFault[];
   readonly cacheLog: CacheLog;
   readonly stats: SchedulerStats;
   readonly requestCounts: RequestCounts;
+  /** Load figures that `/load` reports. */
   readonly published: LoadFigures;
-  /** Token count at the last publication, for the token rate. */
+  /** Token count at the last publication; the token rate is computed from it. */
   readonly tokensPublished: number;
 }
--- a/packages/standins/engine/schemas.ts
+++ b/packages/standins/engine/schemas.ts
@@ -30,12 +30,14 @@
 
 export type ChatBody = z.infer<typeof CHAT_SCHEMA>;
 
+/** Body of `POST /control/order`. */
 export const ORDER_SCHEMA = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('load-version'), fencing: z.number().int(), version: z.string() }),
   z.object({ kind: z.literal('load-adapter'), fencing: z.number().int(), adapter: z.string() }),
   z.object({ kind: z.literal('change-role'), fencing: z.number().int(), role: z.string() }),
 ]);
 
+/** Query of `GET /cache-events`. */
 export const CACHE_EVENTS_SCHEMA = z.object({
   from: z.coerce.number().int().min(0).default(0),
 });
@@ -43,7 +45,7 @@
 const COUNT = z.number().int().min(0).optional();
 const AMOUNT = z.number().min(0).optional();
 
-/** Options of the engine stand-in in a file; a missing field keeps its default. */
+/** Options of the engine stand-in in a file; a missing field has its default. */
 export const ENGINE_OPTIONS_SCHEMA = z.strictObject({
   fencing: z.enum(['checked', 'ignored']).optional(),
   seed: z.number().int().optional(),
--- a/packages/standins/engine/startEngineStandin.ts
+++ b/packages/standins/engine/startEngineStandin.ts
@@ -105,7 +105,7 @@
 /**
  * Starts the stand-in of a model engine.
  *
- * @param options - port, sizes and speeds
+ * @param options - port, model, capacity, step times and delays
  * @returns the running stand-in
  */
 export const startEngineStandin = async (options: EngineOptions = {}): Promise<Standin> => {
--- a/packages/standins/engine/submission.ts
+++ b/packages/standins/engine/submission.ts
@@ -7,18 +7,18 @@
 import type { ChatBody } from './schemas.js';
 import type { EngineSettings, Submission } from './types.js';
 
-/** What the request's headers tell. */
+/** Request id and request class from the headers. */
 export interface RequestIdentity {
   readonly requestId: string;
   readonly className: string | undefined;
 }
 
 /**
- * Builds the submission of a chat completions request.
+ * Builds the submission for a chat completions request.
  *
  * @param sequence - id of the generation
- * @param body - checked body
- * @param identity - request id and class
+ * @param body - validated body
+ * @param identity - request id and class from the headers
  * @param settings - seed and output lengths
  * @returns the submission
  */
--- a/packages/standins/engine/supervisor.ts
+++ b/packages/standins/engine/supervisor.ts
@@ -7,7 +7,7 @@
 import type { View } from '../common/view.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
 
-/** States that the engine's pages show. */
+/** Views of the children's states, read by the HTTP routes. */
 export interface EngineViews {
   readonly scheduler: View<SchedulerState>;
   readonly control: View<ControlState>;
@@ -16,9 +16,9 @@
 /**
  * Lists the children of the engine stand-in: scheduler and control orders.
  *
- * @param settings - sizes and speeds of the engine
- * @param environment - time, chance and start identities
- * @param views - receivers of the published states
+ * @param settings - settings of the engine
+ * @param environment - time, random numbers and start identities
+ * @param views - views that receive each new state
  * @returns the children in start order
  */
 export const listEngineChildren = (
--- a/packages/standins/engine/types.ts
+++ b/packages/standins/engine/types.ts
@@ -3,47 +3,54 @@
 import type { ReplyId } from '../common/exchange.js';
 import type { Millis } from '../../core/clock.js';
 
-/** What the engine's health page says. */
+/** Status that the engine reports on `/health`. */
 export type EngineHealth = 'warming' | 'ready' | 'failing';
 
-/** Whether control orders with an old fencing number are refused. */
+/** Whether control orders with a stale fencing number are refused. */
 export type FencingMode = 'checked' | 'ignored';
 
-/** Names one generation inside the engine and in its first token. */
+/** Identifies one generation inside the engine and in its first token. */
 export type SequenceId = string;
 
-/** Sizes and speeds of the engine; a caller may give any part of them. */
+/** Capacity, step times and delays of the simulated engine. */
 export interface EngineSettings {
   readonly model: string;
   readonly version: string;
   readonly fencing: FencingMode;
   readonly seed: number;
-  /** Time of one step of the batch without sequences. */
+  /** Duration of a step of an empty batch. */
   readonly stepBaseMs: Millis;
   /** Time that each running sequence adds to a step. */
   readonly stepPerSequenceMs: Millis;
+  /** Time that each prompt token adds to the step that computes it. */
   readonly prefillMsPerToken: Millis;
-  /** Prompt tokens that one step computes at the most. */
+  /** Largest number of prompt tokens that one step computes. */
   readonly prefillTokensPerStep: number;
-  /** Tokens of a prompt that its cached prefix saves. */
+  /** Largest number of prompt tokens that a cached prefix covers. */
   readonly cachedPrefixTokens: number;
+  /** Memory for sequences and cached prefixes, in tokens. */
   readonly memoryTokens: number;
-  /** Sequences in one batch at the most. */
+  /** Largest number of sequences in the batch. */
   readonly maxRunning: number;
+  /** Time from the start of the engine until it is ready. */
   readonly warmUpMs: Millis;
-  /** Sequences that the engine bears when it turns ready. */
+  /** Sequences that the engine sustains when it becomes ready. */
   readonly coldConcurrency: number;
-  /** Sequences that it bears at the end of the ramp. */
+  /** Sequences that the engine sustains at the end of the ramp. */
   readonly warmConcurrency: number;
+  /** Time after the warm-up during which the concurrency limit grows. */
   readonly rampMs: Millis;
-  /** Factor of the step time after too much work while cold. */
+  /** Factor by which steps take longer after the limit of a cold engine was exceeded. */
   readonly collapseFactor: number;
+  /** Time for which steps take longer. */
   readonly collapseMs: Millis;
+  /** Mean output length of requests that don't specify a length. */
   readonly meanOutputTokens: number;
-  /** Largest output when the request names none. */
+  /** Largest output of a request without a limit. */
   readonly maxOutputTokens: number;
-  /** Interval of the published load figures. */
+  /** Interval at which the load figures are updated. */
   readonly loadLagMs: Millis;
+  /** Age at which a cache event is published. */
   readonly cacheEventLagMs: Millis;
   /** Share of cache events that are never published. */
   readonly cacheEventLossShare: number;
@@ -56,32 +63,35 @@
   readonly port?: number;
 }
 
-/** One generation from its arrival to its end. */
+/** One generation, from its arrival to its end. */
 export interface Sequence {
   readonly id: SequenceId;
   readonly requestId: string;
-  /** Lower runs first. */
+  /** Sequences with a lower value run first. */
   readonly priority: number;
-  /** Order of arrival, for ties of the priority. */
+  /** Order of arrival; decides between sequences of equal priority. */
   readonly arrival: number;
   readonly promptTokens: number;
   readonly targetTokens: number;
-  /** Why the generation ends when it has all its tokens. */
+  /** Finish reason when the sequence reaches `targetTokens`. */
   readonly finishReason: FinishReason;
+  /** Hash of the prompt's prefix. */
   readonly prefix: string;
+  /** Version that the engine served when the sequence arrived. */
   readonly version: string;
+  /** Number of output tokens so far. */
   readonly generated: number;
-  /** Prompt and recomputed tokens that are still to compute. */
+  /** Prompt tokens, and output tokens after a preemption, that are still to be computed. */
   readonly prefillLeft: number;
   /** Prompt tokens found in the cache at the last admission to the batch. */
   readonly cachedTokens: number;
-  /** Instant of the preemption whose stall has not ended. */
+  /** Instant of the preemption after which the sequence has not yet produced a token. */
   readonly stalledSince: Millis | 'not-stalled';
 }
 
 export type FinishReason = 'stop' | 'length';
 
-/** What a caller asks the engine to generate. */
+/** Generation that a caller requests. */
 export interface Submission {
   readonly sequence: SequenceId;
   readonly requestId: string;
@@ -89,7 +99,9 @@
   readonly promptTokens: number;
   readonly targetTokens: number;
   readonly finishReason: FinishReason;
+  /** Hash of the prompt's prefix. */
   readonly prefix: string;
+  /** Prompt, for faults that depend on its content. */
   readonly content: string;
   readonly route: string | undefined;
   readonly className: string | undefined;
@@ -122,8 +134,10 @@
 export type EngineEvent =
   ({ readonly to: 'scheduler' } & SchedulerEvent) | ({ readonly to: 'control' } & ControlEvent);
 
+/** Token that a step produced. */
 export interface EmittedToken {
   readonly sequence: SequenceId;
+  /** Index in the output, from 0. */
   readonly index: number;
 }
 
@@ -148,5 +162,5 @@
       readonly status: number;
       readonly message: string;
     }
-  /** Ends the connection of a generation that the engine lost. */
+  /** Closes the connection of a generation that the engine lost. */
   | { readonly kind: 'break'; readonly sequence: SequenceId };
