--- a/packages/standins/common/exchange.ts
+++ b/packages/standins/common/exchange.ts
@@ -1,28 +1,29 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
-/** Names an HTTP request that waits for its answer. */
+/** Identifies an HTTP request that waits for its answer. */
 export type ReplyId = number;
 
+/** Response to an HTTP request. */
 export interface Answer {
   readonly status: number;
   readonly body: unknown;
   readonly headers?: Readonly<Record<string, string>>;
 }
 
-/** Requests that wait for an effect of the decisions to answer them. */
-export interface Exchange {
-  /** Registers a request, posts its event and waits for the answer. */
+/** HTTP requests that wait until an effect of the decisions answers or drops them. */
+export interface PendingRequests {
+  /** Registers a request, posts its event and resolves when the request is answered or dropped. */
   readonly handle: (
     request: FastifyRequest,
     reply: FastifyReply,
     post: (id: ReplyId) => void,
   ) => Promise<FastifyReply>;
   readonly answer: (id: ReplyId, answer: Answer) => void;
-  /** Ends the connection of a request without an answer. */
+  /** Closes the connection of a request without an answer. */
   readonly drop: (id: ReplyId) => void;
 }
 
-interface Waiting {
+interface PendingRequest {
   readonly request: FastifyRequest;
   readonly settle: (answer: Answer | 'dropped') => void;
 }
@@ -32,13 +33,13 @@
  *
  * @returns the empty register
  */
-export const createExchange = (): Exchange => {
-  const waiting = new Map<ReplyId, Waiting>();
+export const createPendingRequests = (): PendingRequests => {
+  const pending = new Map<ReplyId, PendingRequest>();
   let lastId = 0;
 
   const settle = (id: ReplyId, outcome: Answer | 'dropped'): void => {
-    const entry = waiting.get(id);
-    waiting.delete(id);
+    const entry = pending.get(id);
+    pending.delete(id);
     if (outcome === 'dropped') entry?.request.raw.socket.destroy();
     entry?.settle(outcome);
   };
@@ -48,7 +49,7 @@
       lastId += 1;
       const id = lastId;
       const outcome = await new Promise<Answer | 'dropped'>((resolve) => {
-        waiting.set(id, { request, settle: resolve });
+        pending.set(id, { request, settle: resolve });
         post(id);
       });
       if (outcome === 'dropped') return reply.hijack();
--- a/packages/standins/common/listener.ts
+++ b/packages/standins/common/listener.ts
@@ -6,22 +6,22 @@
 import { MAX_BODY_BYTES } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** HTTP server of a stand-in, with the outages that a stand-in can show. */
+/** HTTP server of a stand-in, with the outages that a stand-in can simulate. */
 export interface Listener {
   readonly app: FastifyInstance;
-  /** Base address; known after `open`. */
+  /** Returns the base URL; may only be called after `open`. */
   readonly getUrl: () => string;
   readonly open: (port: number) => Promise<void>;
-  /** Ends every connection and answers no request for a time, except on exempt paths. */
+  /** Closes every connection and drops new requests for `downMs`, except on exempt paths. */
   readonly crash: (downMs: Millis) => void;
-  /** Holds every request for a time, except on exempt paths. */
+  /** Delays every request until `forMs` have passed, except on exempt paths. */
   readonly freeze: (forMs: Millis) => void;
   readonly close: () => Promise<void>;
 }
 
 const isExempt = (url: string): boolean => url.startsWith('/faults') || url.startsWith('/standin/');
 
-const registerErrors = (app: FastifyInstance): void => {
+const registerErrorHandler = (app: FastifyInstance): void => {
   app.setErrorHandler((error: Error & { statusCode?: number }, _request, reply: FastifyReply) => {
     const status = error instanceof ZodError ? 400 : (error.statusCode ?? 500);
     return reply.code(status).send({ error: { message: error.message, type: 'invalid_request' } });
@@ -29,10 +29,11 @@
 };
 
 /**
- * Creates the HTTP server of a stand-in on 127.0.0.1. The paths `/faults` and `/standin/*` stay
- * reachable while the stand-in is crashed or frozen, so that a test can look and repair.
+ * Creates the HTTP server of a stand-in on 127.0.0.1. The paths `/faults` and `/standin/*` are
+ * exempt from outages: they stay reachable while the stand-in is crashed or frozen, so that a test
+ * can read its state and clear its faults.
  *
- * @returns the server, not yet open
+ * @returns the server, not yet listening
  */
 export const createListener = (): Listener => {
   const app = fastify({ logger: false, forceCloseConnections: true, bodyLimit: MAX_BODY_BYTES });
@@ -45,9 +46,9 @@
     sockets.set(socket, 'ordinary');
     socket.once('close', () => sockets.delete(socket));
   });
-  registerErrors(app);
+  registerErrorHandler(app);
 
-  const waitUntilThawed = async (): Promise<void> => {
+  const waitWhileFrozen = async (): Promise<void> => {
     while (performance.now() < frozenUntil) {
       await new Promise<void>((resolve) => {
         const timer = setTimeout(
@@ -66,7 +67,7 @@
     const exempt = isExempt(request.url);
     sockets.set(request.raw.socket, exempt ? 'exempt' : 'ordinary');
     if (exempt) return;
-    await waitUntilThawed();
+    await waitWhileFrozen();
     if (performance.now() >= downUntil) return;
     reply.hijack();
     request.raw.socket.destroy();
--- a/packages/standins/engine/pages.ts
+++ b/packages/standins/engine/pages.ts
@@ -8,6 +8,7 @@
 import type { EngineViews } from './supervisor.js';
 import type { Clock } from '../../core/clock.js';
 
+/** Metrics by name, each with the function that reads its value. */
 const METRICS = {
   engine_running_sequences: ({ batch }: SchedulerState) => batch.running.length,
   engine_waiting_sequences: ({ batch }: SchedulerState) => batch.waiting.length,
@@ -20,20 +21,20 @@
 
 const createMetrics = (views: EngineViews): Registry => {
   const registry = new Registry();
-  for (const [name, measureValue] of Object.entries(METRICS)) {
+  for (const [name, readValue] of Object.entries(METRICS)) {
     const gauge = new Gauge({
       name,
       help: name.replaceAll('_', ' '),
       registers: [registry],
       collect: () => {
-        gauge.set(measureValue(views.scheduler.get()));
+        gauge.set(readValue(views.scheduler.get()));
       },
     });
   }
   return registry;
 };
 
-const registerHealthPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
+const registerHealthRoutes = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
   app.get('/health', async () => {
     const state = views.scheduler.get();
     return {
@@ -57,15 +58,19 @@
 };
 
 /**
- * Registers the pages that only read the engine's state.
+ * Registers the HTTP routes that only read the engine's state.
  *
  * @param app - HTTP server
- * @param views - states to read
- * @param clock - current time
+ * @param views - views of the children's states
+ * @param clock - clock for ages and health
  */
-export const registerPages = (app: FastifyInstance, views: EngineViews, clock: Clock): void => {
+export const registerStatusRoutes = (
+  app: FastifyInstance,
+  views: EngineViews,
+  clock: Clock,
+): void => {
   const metrics = createMetrics(views);
-  registerHealthPages(app, views, clock);
+  registerHealthRoutes(app, views, clock);
   app.get('/metrics', async (_request, reply) =>
     reply.type(metrics.contentType).send(await metrics.metrics()),
   );
@@ -84,11 +89,11 @@
       memoryShare: countUsedTokens(batch.running) / settings.memoryTokens,
     };
   };
-  // The same without the counts by request id, for readers that ask often.
+  // The statistics without the counts by request id, for clients that poll often.
   app.get('/standin/counters', async () => buildCounters());
   app.get('/standin/stats', async () => ({
     ...buildCounters(),
     control: views.control.get(),
-    requests: views.scheduler.get().counts.list(),
+    requests: views.scheduler.get().requestCounts.list(),
   }));
 };
--- a/packages/standins/engine/scheduler/batch.test.ts
+++ b/packages/standins/engine/scheduler/batch.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { addWaiting, countUsedTokens, planStep, settleStep } from './batch.js';
+import { addWaiting, countUsedTokens, planStep, finishStep } from './batch.js';
 import type { Batch } from './batch.js';
 import { countCachedTokens } from './prefixCache.js';
 import { DEFAULT_ENGINE_SETTINGS } from '../constants.js';
@@ -30,8 +30,8 @@
 const listIds = (sequences: readonly Sequence[]): readonly string[] =>
   sequences.map(({ id }) => id);
 
-// Guards against an engine that holds more than its memory, loses a sequence or never ends one.
-test('every sequence gets exactly its tokens and memory is never exceeded', (t) => {
+// Guards against a batch that exceeds its memory, loses a sequence or never finishes one.
+test('every sequence produces exactly its tokens and memory is never exceeded', (t) => {
   const sequenceArbitrary = fc.record({
     priority: fc.integer({ min: 0, max: 2 }),
     promptTokens: fc.integer({ min: 1, max: 60 }),
@@ -51,11 +51,12 @@
     for (let now = 0; batch.running.length + batch.waiting.length > 0; now += 1) {
       if (now > 5_000) throw new Error('the batch makes no progress');
       const plan = planStep(batch, settings, now);
-      const settled = settleStep(plan.batch, settings, now);
-      batch = settled.batch;
+      const result = finishStep(plan.batch, settings, now);
+      batch = result.batch;
       const held = countUsedTokens(batch.running) + countCachedTokens(batch.cache);
-      if (held > settings.memoryTokens) throw new Error(`${held.toString()} tokens are held`);
-      for (const { id, generated } of settled.emitted) {
+      if (held > settings.memoryTokens)
+        throw new Error(`${held.toString()} tokens exceed the memory`);
+      for (const { id, generated } of result.emitted) {
         if (generated !== (tokens.get(id) ?? 0) + 1) throw new Error(`token of ${id} out of order`);
         tokens.set(id, generated);
       }
@@ -72,8 +73,8 @@
   t.pass();
 });
 
-// Guards against preemption of urgent or old work in place of the newest background work.
-test('full memory preempts the least urgent, then the newest sequence', (t) => {
+// Guards against preemption of urgent or early sequences instead of the newest of lowest priority.
+test('full memory preempts the sequence of lowest priority, the newest among equals', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 42 };
   const running = [
     createSequence(0, { generated: 4 }),
@@ -87,19 +88,19 @@
   t.deepEqual(listIds(planStep({ ...EMPTY, running: equal }, settings, 50).preempted), ['s2']);
 });
 
-// Guards against a stall that is not counted, or a resumed sequence that starts over.
-test('a preempted sequence resumes after recomputing and reports its stall', (t) => {
+// Guards against a stall that is not measured, or a resumed sequence that loses its tokens.
+test('a preempted sequence resumes after recomputation and its stall is measured', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, prefillTokensPerStep: 100 };
   const waiting = [createSequence(0, { generated: 5, stalledSince: 100 })];
   const plan = planStep({ ...EMPTY, waiting }, settings, 300);
   t.true(plan.durationMs >= settings.prefillMsPerToken * 15);
-  const settled = settleStep(plan.batch, settings, 350);
-  t.is(settled.emitted[0]?.generated, 6);
-  t.is(settled.stalledMs, 250);
+  const result = finishStep(plan.batch, settings, 350);
+  t.is(result.emitted[0]?.generated, 6);
+  t.is(result.stalledMs, 250);
 });
 
-// Guards against an urgent request that queues behind background work.
-test('a more urgent sequence takes the memory of a less urgent one', (t) => {
+// Guards against an urgent sequence that waits behind one of lower priority.
+test('a more urgent sequence preempts a less urgent one when memory is full', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 40 };
   const running = [createSequence(0, { priority: 2, promptTokens: 30 })];
   const batch = addWaiting({ ...EMPTY, running }, createSequence(1, { promptTokens: 30 }));
@@ -108,12 +109,12 @@
   t.deepEqual(listIds(plan.batch.waiting), ['s0']);
 });
 
-// Guards against a cached prefix that saves nothing or is kept when sequences need its memory.
+// Guards against a cached prefix that saves no prefill or is kept when sequences need its memory.
 test('a cached prefix shortens the prefill and is evicted for sequences', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 100, cachedPrefixTokens: 40 };
   const prompt = { promptTokens: 50, prefix: 'shared', targetTokens: 1 };
   const cold = planStep(buildBatch([createSequence(0, prompt)]), settings, 0);
-  const { batch, changes } = settleStep(cold.batch, settings, 1);
+  const { batch, changes } = finishStep(cold.batch, settings, 1);
   t.deepEqual(changes, [{ kind: 'stored', prefix: 'shared' }]);
   const warm = planStep(addWaiting(batch, createSequence(1, prompt)), settings, 2);
   t.is(warm.batch.running[0]?.cachedTokens, 40);
@@ -122,10 +123,10 @@
   t.deepEqual(large.changes, [{ kind: 'evicted', prefix: 'shared' }]);
 });
 
-// Guards against a sequence that fills the whole memory and blocks the engine for good.
-test('a sequence alone in full memory ends with its length', (t) => {
+// Guards against a sequence that fills the whole memory and blocks the engine forever.
+test('a sequence that fills the whole memory on its own is finished', (t) => {
   const settings = { ...DEFAULT_ENGINE_SETTINGS, memoryTokens: 20 };
   const running = [createSequence(0, { generated: 9, targetTokens: 500 })];
-  const settled = settleStep(planStep({ ...EMPTY, running }, settings, 0).batch, settings, 1);
-  t.deepEqual(listIds(settled.finished), ['s0']);
+  const result = finishStep(planStep({ ...EMPTY, running }, settings, 0).batch, settings, 1);
+  t.deepEqual(listIds(result.finished), ['s0']);
 });
--- a/packages/standins/engine/scheduler/requestCounts.ts
+++ b/packages/standins/engine/scheduler/requestCounts.ts
@@ -1,8 +1,8 @@
-import { COUNTED_REQUESTS } from '../constants.js';
+import { MAX_COUNTED_REQUESTS } from '../constants.js';
 
 /**
- * Executions per request id. A run can have tens of thousands of requests, so the counts are
- * updated in place; the oldest ids are dropped above a bound.
+ * Number of executions by request id. A run can have tens of thousands of requests, so the counts
+ * are updated in place; the oldest ids are removed above `MAX_COUNTED_REQUESTS`.
  */
 export interface RequestCounts {
   readonly add: (requestId: string) => void;
@@ -10,16 +10,16 @@
 }
 
 /**
- * Creates empty counts.
+ * Creates the counts of executions by request id.
  *
- * @returns the counts
+ * @returns the empty counts
  */
 export const createRequestCounts = (): RequestCounts => {
   const counts = new Map<string, number>();
   return {
     add: (requestId) => {
       counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
-      if (counts.size <= COUNTED_REQUESTS) return;
+      if (counts.size <= MAX_COUNTED_REQUESTS) return;
       const oldest = counts.keys().next().value;
       if (oldest !== undefined) counts.delete(oldest);
     },
--- a/packages/standins/engine/scheduler/stepping.ts
+++ b/packages/standins/engine/scheduler/stepping.ts
@@ -1,5 +1,5 @@
-import { countUsedTokens, planStep, settleStep } from './batch.js';
-import { addStats, recordCacheChanges } from './state.js';
+import { countUsedTokens, planStep, finishStep } from './batch.js';
+import { updateStats, recordCacheChanges } from './state.js';
 import type { SchedulerStep } from './state.js';
 import type { SchedulerEnvironment, SchedulerState } from './types.js';
 import { MAX_TIMER_LAG_MS } from '../constants.js';
@@ -14,18 +14,19 @@
 };
 
 /**
- * Finds the instant from which the next step counts: the planned end of the last one, so that late
- * timers do not add up, unless the process was held up for longer.
+ * Finds the instant at which the next step starts: the planned end of the last one, so that timer
+ * delays don't accumulate. A delay of `MAX_TIMER_LAG_MS` or more, as after a pause of the process,
+ * is not made up for.
  */
 const findStepStart = ({ phase }: SchedulerState, now: Millis): Millis =>
   phase.kind === 'stepping' && now - phase.dueAt < MAX_TIMER_LAG_MS ? phase.dueAt : now;
 
 /**
- * Begins the next step, or goes idle when nothing runs.
+ * Starts the next step, or goes idle if no sequence runs.
  *
- * @param state - engine between two steps
- * @param environment - time and chance
- * @returns the engine in its step, with the timer of its end
+ * @param state - state of the engine between two steps
+ * @param environment - time and random numbers
+ * @returns the next state and the timer of the step's end
  */
 export const startStep = (
   state: SchedulerState,
@@ -35,7 +36,7 @@
   const plan = planStep(state.batch, state.settings, now);
   const running = plan.batch.running.length;
   const used = countUsedTokens(plan.batch.running) / state.settings.memoryTokens;
-  const counted = addStats(
+  const counted = updateStats(
     { ...state, batch: plan.batch },
     {
       preemptions: state.stats.preemptions + plan.preempted.length,
@@ -57,7 +58,7 @@
   );
 };
 
-const toFinish = (sequence: Sequence): EngineEffect => ({
+const toFinishEffect = (sequence: Sequence): EngineEffect => ({
   kind: 'finish',
   sequence: sequence.id,
   reason: sequence.generated < sequence.targetTokens ? 'length' : sequence.finishReason,
@@ -69,12 +70,12 @@
 });
 
 /**
- * Ends a step: sends its tokens and begins the next one.
+ * Ends a step: emits its tokens and starts the next one.
  *
- * @param state - engine in a step
- * @param step - number of the step that is due; another than the current one is ignored
- * @param environment - time and chance
- * @returns the engine after the step, with tokens and ends of generations
+ * @param state - state of the engine during a step
+ * @param step - number of the step that is due; ignored if it is not the current one
+ * @param environment - time and random numbers
+ * @returns the next state, with the effects for new tokens and finished generations
  */
 export const handleStepDue = (
   state: SchedulerState,
@@ -90,27 +91,27 @@
       event: { to: 'scheduler', kind: 'step-due', step },
     });
   }
-  const settled = settleStep(state.batch, state.settings, now);
-  const counted = addStats(
-    { ...state, batch: settled.batch },
+  const result = finishStep(state.batch, state.settings, now);
+  const counted = updateStats(
+    { ...state, batch: result.batch },
     {
-      tokens: state.stats.tokens + settled.emitted.length,
-      finished: state.stats.finished + settled.finished.length,
-      stalledMs: state.stats.stalledMs + settled.stalledMs,
+      tokens: state.stats.tokens + result.emitted.length,
+      finished: state.stats.finished + result.finished.length,
+      stalledMs: state.stats.stalledMs + result.stalledMs,
     },
   );
   const following = startStep(
-    recordCacheChanges(counted, settled.changes, environment),
+    recordCacheChanges(counted, result.changes, environment),
     environment,
   );
-  const tokens = settled.emitted.map(({ id, generated }) => ({
+  const tokens = result.emitted.map(({ id, generated }) => ({
     sequence: id,
     index: generated - 1,
   }));
   return toStep(
     following.state,
     { kind: 'emit', tokens },
-    ...settled.finished.map(toFinish),
+    ...result.finished.map(toFinishEffect),
     ...following.effects,
   );
 };
--- a/packages/standins/ledger/book/bookChild.ts
+++ b/packages/standins/ledger/book/bookChild.ts
@@ -8,27 +8,29 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
-/** State of the service process; the executions outlive it. */
-export interface BookState {
+/** State of the service process. The executions are kept apart, because they survive a crash. */
+export interface ServiceState {
+  /** Identity of the process since its last start. */
   readonly startId: string;
   readonly faults: readonly CallFault[];
+  /** Number of calls received. */
   readonly calls: number;
 }
 
-/** What the book takes from outside its state. */
-export interface BookEnvironment {
+/** Inputs of the service's decisions that are not part of its state. */
+export interface ServiceEnvironment {
   readonly executions: Executions;
   readonly callMs: Millis;
   readonly createStartId: () => string;
 }
 
-type BookStep = Step<BookState, LedgerEffect>;
+type ServiceStep = Step<ServiceState, LedgerEffect>;
 
-/** Largest balance of an account in cents. */
-const BALANCE_BOUND = 100_000_000;
+/** Exclusive upper limit of the balance of an account, in cents. */
+const BALANCE_LIMIT_CENTS = 100_000_000;
 
-/** Takes one call from each fault and drops the faults that are used up. */
-const takeFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
+/** Counts one call off each fault and removes the faults with no calls left. */
+const countDownFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
   faults.map((fault) => ({ ...fault, calls: fault.calls - 1 })).filter(({ calls }) => calls > 0);
 
 const computeDelay = (faults: readonly CallFault[], kind: 'delay-before' | 'delay-after'): Millis =>
@@ -38,13 +40,13 @@
   faults.some((fault) => fault.kind === kind);
 
 /**
- * Computes the balance of an account, which never changes.
+ * Computes the balance of an account, which depends only on the account's name.
  *
  * @param account - name of the account
- * @returns cents
+ * @returns balance in cents
  */
 export const computeBalance = (account: string): number =>
-  createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_BOUND;
+  createHash('sha256').update(account).digest().readUInt32BE(0) % BALANCE_LIMIT_CENTS;
 
 const performCall = (call: LedgerCall, executions: Executions): Answer => {
   switch (call.kind) {
@@ -61,51 +63,51 @@
 };
 
 const handleCall = (
-  state: BookState,
+  state: ServiceState,
   reply: ReplyId,
   call: LedgerCall,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   const { faults, startId } = state;
-  const next = { ...state, faults: takeFaults(faults), calls: state.calls + 1 };
+  const next = { ...state, faults: countDownFaults(faults), calls: state.calls + 1 };
   if (hasFault(faults, 'fail-before')) {
-    const answer = { status: 500, body: { error: 'failed before any effect' } };
-    return toStep<BookState, LedgerEffect>(next, { kind: 'answer', reply, answer });
+    const answer = { status: 500, body: { error: 'injected failure before the call took effect' } };
+    return toStep<ServiceState, LedgerEffect>(next, { kind: 'answer', reply, answer });
   }
-  return toStep<BookState, LedgerEffect>(next, {
+  return toStep<ServiceState, LedgerEffect>(next, {
     kind: 'schedule',
     delayMs: environment.callMs + computeDelay(faults, 'delay-before'),
-    event: { to: 'book', kind: 'execute-due', reply, call, startId, faults },
+    event: { to: 'service', kind: 'execute-due', reply, call, startId, faults },
   });
 };
 
 const handleExecuteDue = (
-  state: BookState,
+  state: ServiceState,
   event: Extract<LedgerEvent, { kind: 'execute-due' }>,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   const { reply, faults } = event;
   if (event.startId !== state.startId) return toStep(state, { kind: 'drop', reply });
   const answer = performCall(event.call, environment.executions);
   if (hasFault(faults, 'drop-answer')) return toStep(state, { kind: 'drop', reply });
   const delayMs = computeDelay(faults, 'delay-after');
   if (delayMs === 0) return toStep(state, { kind: 'answer', reply, answer });
-  return toStep<BookState, LedgerEffect>(state, {
+  return toStep<ServiceState, LedgerEffect>(state, {
     kind: 'schedule',
     delayMs,
-    event: { to: 'book', kind: 'answer-due', reply, answer },
+    event: { to: 'service', kind: 'answer-due', reply, answer },
   });
 };
 
 const applyFault = (
-  state: BookState,
+  state: ServiceState,
   fault: LedgerFault,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   switch (fault.kind) {
     case 'crash': {
       const restarted = { ...state, startId: environment.createStartId() };
-      return toStep<BookState, LedgerEffect>(restarted, { kind: 'crash', downMs: fault.downMs });
+      return toStep<ServiceState, LedgerEffect>(restarted, { kind: 'crash', downMs: fault.downMs });
     }
     case 'freeze':
       return toStep(state, { kind: 'freeze', forMs: fault.forMs });
@@ -124,16 +126,16 @@
 /**
  * Decides one event of the service.
  *
- * @param state - service before the event
+ * @param state - state of the service before the event
  * @param event - call, timer or fault
- * @param environment - executions, usual time of a call and start identities
- * @returns the next state and the answers
+ * @param environment - executions, duration of a call and start identities
+ * @returns the next state and the effects
  */
-export const decideBook = (
-  state: BookState,
+export const decideService = (
+  state: ServiceState,
   event: LedgerEvent,
-  environment: BookEnvironment,
-): BookStep => {
+  environment: ServiceEnvironment,
+): ServiceStep => {
   switch (event.kind) {
     case 'call':
       return handleCall(state, event.reply, event.call, environment);
@@ -149,14 +151,14 @@
 };
 
 /**
- * Creates the child that runs the calls of the service.
+ * Creates the child that executes the calls of the service.
  *
- * @param environment - executions, usual time of a call and start identities
+ * @param environment - executions, duration of a call and start identities
  * @returns the decisions of the child
  */
-export const createBookChild = (
-  environment: BookEnvironment,
-): ChildLogic<BookState, LedgerEvent, LedgerEffect> => ({
+export const createServiceChild = (
+  environment: ServiceEnvironment,
+): ChildLogic<ServiceState, LedgerEvent, LedgerEffect> => ({
   init: () => toStep({ startId: environment.createStartId(), faults: [], calls: 0 }),
-  decide: (state, event) => decideBook(state, event, environment),
+  decide: (state, event) => decideService(state, event, environment),
 });
--- a/packages/standins/platform/log/logChild.ts
+++ b/packages/standins/platform/log/logChild.ts
@@ -1,9 +1,9 @@
 import { createRecordTable } from './recordTable.js';
 import type { RecordTable } from './recordTable.js';
-import { takeAllowance } from '../../common/rateLimit.js';
-import type { Allowance } from '../../common/rateLimit.js';
+import { takeFromBucket } from '../../common/rateLimit.js';
+import type { TokenBucket } from '../../common/rateLimit.js';
 import type { ReplyId } from '../../common/exchange.js';
-import { APPEND_BURST_SHARE } from '../constants.js';
+import { APPEND_BURST_SECONDS } from '../constants.js';
 import type {
   FaultsEvent,
   LogEvent,
@@ -21,13 +21,13 @@
 type ReadEvent = Extract<LogEvent, { kind: 'read' }>;
 type AppendEvent = Extract<LogEvent, { kind: 'append' | 'append-due' }>;
 
-/** State of the log; the table of records is updated in place. */
+/** State of the log; the record table is updated in place. */
 export interface LogState {
   readonly mode: LogMode;
   readonly settings: PlatformSettings;
-  readonly allowance: Allowance;
+  readonly bucket: TokenBucket;
   readonly table: RecordTable;
-  /** Reads that wait for a record at their offset. */
+  /** Reads that wait for a record at or after their offset. */
   readonly waiting: readonly ReadEvent[];
 }
 
@@ -71,9 +71,9 @@
 const admitAppend = (state: LogState, event: AppendEvent, now: Millis): LogStep => {
   if (state.mode === 'down') return toStep(state, replyUnavailable(event.reply));
   const perSecond = state.settings.appendsPerSecond;
-  const burst = Math.max(1, perSecond * APPEND_BURST_SHARE);
-  const decision = takeAllowance(state.allowance, perSecond, burst, now);
-  const next = { ...state, allowance: decision.allowance };
+  const burst = Math.max(1, perSecond * APPEND_BURST_SECONDS);
+  const decision = takeFromBucket(state.bucket, perSecond, burst, now);
+  const next = { ...state, bucket: decision.bucket };
   if (decision.kind === 'limited') {
     return toStep(next, replyLimited(event.reply, decision.retryAfterMs));
   }
@@ -116,10 +116,10 @@
 /**
  * Decides one event of the log.
  *
- * @param state - log before the event
+ * @param state - state of the log before the event
  * @param event - request, timer or fault
  * @param now - current instant
- * @returns the next state and the answers
+ * @returns the next state and the effects
  */
 export const decideLog = (state: LogState, event: LogEvent | FaultsEvent, now: Millis): LogStep => {
   switch (event.kind) {
@@ -141,10 +141,10 @@
 };
 
 /**
- * Creates the child that holds the log.
+ * Creates the child that owns the log.
  *
- * @param settings - limits and retention
- * @param clock - time of records
+ * @param settings - rate limit, retention and delay
+ * @param clock - clock of records and of the rate limit
  * @returns the decisions of the child
  */
 export const createLogChild = (
@@ -155,7 +155,7 @@
     toStep({
       mode: 'up',
       settings,
-      allowance: { left: settings.appendsPerSecond * APPEND_BURST_SHARE, at: clock.now() },
+      bucket: { left: settings.appendsPerSecond * APPEND_BURST_SECONDS, at: clock.now() },
       table: createRecordTable(),
       waiting: [],
     }),
