--- a/packages/decisions/membership/heartbeatTargets.ts
+++ b/packages/decisions/membership/heartbeatTargets.ts
@@ -1,7 +1,7 @@
 import type { EndpointId, InstanceId } from '../../core/ids.js';
 
 /** Hash function of strings with evenly distributed results. */
-export type TextHash = (text: string) => number;
+export type StringHash = (text: string) => number;
 
 /**
  * Chooses the entry daemons that an endpoint daemon sends heartbeats to, by rendezvous hashing:
@@ -17,7 +17,7 @@
   endpoint: EndpointId,
   entryInstances: readonly InstanceId[],
   subsetSize: number,
-  hash: TextHash,
+  hash: StringHash,
 ): readonly InstanceId[] =>
   entryInstances
     .map((instance) => ({ instance, score: hash(`${endpoint}\n${instance}`) }))
--- a/packages/decisions/membership/lease.ts
+++ b/packages/decisions/membership/lease.ts
@@ -20,12 +20,12 @@
   incarnation,
   sent: [],
   expiresAt: 0,
-  lease: 'lapsed',
+  status: 'lapsed',
   settlingSince: 0,
   targets: [],
   acknowledgedBy: [],
   lastEventAt: 0,
-  stay: 'staying',
+  presence: 'staying',
   dataCentre: 'in',
   configurationOffset: -1,
 });
@@ -35,17 +35,17 @@
 
 const resolveStatus = (state: LeaseState, now: Millis): LeaseStatus => {
   if (now >= state.expiresAt) return 'lapsed';
-  if (state.lease !== 'settling') return state.lease;
+  if (state.status !== 'settling') return state.status;
   const isComplete = state.targets.every((target) => state.acknowledgedBy.includes(target));
   return isComplete || now - state.settlingSince >= MAX_SETTLING_MS ? 'held' : 'settling';
 };
 
 const updateLease = (state: LeaseState, now: Millis): LeaseStep => {
   const lease = resolveStatus(state, now);
-  if (lease === state.lease) return toStep(state);
+  if (lease === state.status) return toStep(state);
   const acknowledgedBy = lease === 'lapsed' ? [] : state.acknowledgedBy;
   return toStep<LeaseState, LeaseEffect>(
-    { ...state, lease, acknowledgedBy },
+    { ...state, status: lease, acknowledgedBy },
     { kind: 'lease-changed', lease },
   );
 };
@@ -67,8 +67,8 @@
   const sentAt = state.sent.find((sent) => sent.sequence === event.sequence)?.at;
   if (sentAt === undefined || sentAt + LEASE_MS <= event.now) return toStep(state);
   const expiresAt = Math.max(state.expiresAt, sentAt + LEASE_MS);
-  if (state.lease === 'held') return toStep({ ...state, expiresAt });
-  const settlingSince = state.lease === 'lapsed' ? event.now : state.settlingSince;
+  if (state.status === 'held') return toStep({ ...state, expiresAt });
+  const settlingSince = state.status === 'lapsed' ? event.now : state.settlingSince;
   const acknowledgedBy = state.acknowledgedBy.includes(event.from)
     ? state.acknowledgedBy
     : [...state.acknowledgedBy, event.from];
@@ -77,7 +77,7 @@
     expiresAt,
     settlingSince,
     acknowledgedBy,
-    lease: 'settling',
+    status: 'settling',
   } as const;
   return updateLease(settling, event.now);
 };
@@ -99,9 +99,9 @@
 };
 
 const startLeaving = (state: LeaseState): LeaseStep =>
-  state.stay === 'leaving'
+  state.presence === 'leaving'
     ? toStep(state)
-    : toStep<LeaseState, LeaseEffect>({ ...state, stay: 'leaving' }, { kind: 'start-drain' });
+    : toStep<LeaseState, LeaseEffect>({ ...state, presence: 'leaving' }, { kind: 'start-drain' });
 
 type TimedEvent = Extract<LeaseEvent, { readonly now: Millis }>;
 
@@ -166,7 +166,7 @@
     const message = `the endpoint restarted as incarnation ${state.incarnation}`;
     return createFailure('not-run', 'stale-incarnation', message);
   }
-  if (state.stay === 'leaving') {
+  if (state.presence === 'leaving') {
     return createFailure('not-run', 'draining', 'the endpoint is leaving');
   }
   if (state.dataCentre === 'out') {
--- a/packages/decisions/membership/leaseTypes.ts
+++ b/packages/decisions/membership/leaseTypes.ts
@@ -21,7 +21,7 @@
   readonly sent: readonly SentHeartbeat[];
   /** Instant by the clock of the endpoint daemon at which the lease expires. */
   readonly expiresAt: Millis;
-  readonly lease: LeaseStatus;
+  readonly status: LeaseStatus;
   readonly settlingSince: Millis;
   /** Entry daemons that the newest heartbeat was sent to. */
   readonly targets: readonly InstanceId[];
@@ -30,7 +30,7 @@
   /** Instant of the last timed event; a long gap indicates a pause of this process. */
   readonly lastEventAt: Millis;
   /** `leaving` after a leave event; the daemon refuses new work from then on. */
-  readonly stay: 'staying' | 'leaving';
+  readonly presence: 'staying' | 'leaving';
   readonly dataCentre: 'in' | 'out';
   readonly configurationOffset: Offset;
 }
--- a/packages/decisions/membership/membershipSimulation.fixture.ts
+++ b/packages/decisions/membership/membershipSimulation.fixture.ts
@@ -139,7 +139,7 @@
   const sendHeartbeats = (endpoint: Endpoint): void => {
     endpoint.sequence += 1;
     const { id, dataCentre, sequence, lease } = endpoint;
-    const phase = lease.stay === 'leaving' ? 'draining' : 'serving';
+    const phase = lease.presence === 'leaving' ? 'draining' : 'serving';
     stepLease(endpoint, { kind: 'heartbeat-sent', sequence, targets: HEARTBEAT_TARGETS, now });
     entries.forEach((entry, index) => {
       const link = `${id} to ${index.toString()}`;
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -144,7 +144,7 @@
       repeat: 'idempotent',
       shown: 'nothing',
       deadline: DEADLINE_MS,
-      minimumMs: 1,
+      minAttemptMs: 1,
     } as const;
     const outcome = decideRetry(budget, attempt, failure, now, random);
     budget = outcome.budget;
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -18,7 +18,7 @@
   repeat: fc.constantFrom('idempotent', 'never'),
   shown: fc.constantFrom('nothing', 'some'),
   deadline: fc.integer({ min: 0, max: 400_000 }),
-  minimumMs: fc.nat(500),
+  minAttemptMs: fc.nat(500),
 });
 const anyEvent = fc.oneof(
   fc.record({ kind: fc.constant('success' as const), wait: fc.nat(2_000) }),
@@ -56,7 +56,7 @@
       if (retries > allowed + 1e-6) throw new Error(`${retries.toString()} retries`);
       if (attempt.shown === 'some') throw new Error('answer was shown');
       if (attempt.repeat === 'never' && verdict !== 'not-run') throw new Error('may run twice');
-      if (now + outcome.decision.delayMs + attempt.minimumMs > attempt.deadline) {
+      if (now + outcome.decision.delayMs + attempt.minAttemptMs > attempt.deadline) {
         throw new Error('too late');
       }
     }
@@ -67,7 +67,12 @@
 
 // Guards against a policy that satisfies the property above by never retrying.
 test('an idempotent request is retried after a loss, or given up with the reason', (t) => {
-  const attempt = { attempts: 1, repeat: 'idempotent', shown: 'nothing', minimumMs: 10 } as const;
+  const attempt = {
+    attempts: 1,
+    repeat: 'idempotent',
+    shown: 'nothing',
+    minAttemptMs: 10,
+  } as const;
   const lost = createFailure('may-have-run', 'endpoint-lost', 'gone', 40);
   const random = { next: () => 0.5 };
   const first = decideRetry(initRetryBudget(0), { ...attempt, deadline: 1_000 }, lost, 0, random);
--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -122,7 +122,7 @@
   const reason = findGiveUpReason(attempt, failure);
   if (reason !== null) return giveUp(reason);
   const delayMs = computeDelay(attempt.attempts, failure, random);
-  if (now + delayMs + attempt.minimumMs > attempt.deadline) return giveUp('deadline-too-near');
+  if (now + delayMs + attempt.minAttemptMs > attempt.deadline) return giveUp('deadline-too-near');
   if (current.retries < 1) return giveUp('budget-spent');
   return {
     decision: { kind: 'retry', delayMs },
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -17,7 +17,7 @@
   readonly shown: 'nothing' | 'some';
   readonly deadline: Millis;
   /** Minimum time before the deadline that makes another attempt worthwhile. */
-  readonly minimumMs: Millis;
+  readonly minAttemptMs: Millis;
 }
 
 /** Why a failed attempt is not retried. */
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -11,7 +11,7 @@
 import { createConfiguration } from '../../decisions/configuration/fold.js';
 import { buildView } from '../../decisions/configuration/view.js';
 import { chooseHeartbeatTargets } from '../../decisions/membership/heartbeatTargets.js';
-import type { TextHash } from '../../decisions/membership/heartbeatTargets.js';
+import type { StringHash } from '../../decisions/membership/heartbeatTargets.js';
 import { decideLease, initLease } from '../../decisions/membership/lease.js';
 import type {
   LeaseEffect,
@@ -34,7 +34,7 @@
   readonly startedAt: Millis;
   readonly intervalMs: Millis;
   readonly subsetSize: number;
-  readonly hash: TextHash;
+  readonly hash: StringHash;
   readonly getEntries: () => readonly ListedEntry[];
   /** Returns the content of the next heartbeat except its sequence number and offset. */
   readonly describeLoad: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -17,7 +17,7 @@
 };
 
 const describePhase = (states: EndpointStates): string => {
-  if (states.rpc.phase !== 'accepting' || states.heartbeats.lease.stay === 'leaving') {
+  if (states.rpc.phase !== 'accepting' || states.heartbeats.lease.presence === 'leaving') {
     return 'draining';
   }
   const { phase } = states.engine.admission;
@@ -106,5 +106,5 @@
   if (states.rpc.phase !== 'accepting') return 'draining';
   if (states.engine.reachability !== 'reached') return 'the endpoint does not answer';
   if (getLimit(states.engine.admission) === 0) return 'the endpoint is not confirmed';
-  return states.heartbeats.lease.lease === 'held' ? null : 'no lease';
+  return states.heartbeats.lease.status === 'held' ? null : 'no lease';
 };
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -94,7 +94,7 @@
       repeat: repeat === 'allowed' ? 'idempotent' : 'never',
       shown: 'nothing',
       deadline: state.deadlineAt,
-      minimumMs: MIN_ATTEMPT_MS,
+      minAttemptMs: MIN_ATTEMPT_MS,
     },
     failure,
     now,
--- a/packages/platform/client/answers.ts
+++ b/packages/platform/client/answers.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { z } from 'zod';
-import type { Exchange, ExchangeError } from './exchange.js';
+import type { HttpResponse, RequestError } from './exchange.js';
 import { parseJsonBytes } from '../../core/jsonText.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
@@ -20,7 +20,7 @@
  * @param response - response without success status
  * @returns the failure, with the retry delay that the service sent
  */
-export const toStatusFailure = (service: PlatformService, response: Exchange): Failure =>
+export const toStatusFailure = (service: PlatformService, response: HttpResponse): Failure =>
   createFailure(
     'not-run',
     response.status === 429 ? 'overloaded' : service.code,
@@ -37,7 +37,7 @@
  */
 export const resolveBody = (
   service: PlatformService,
-  result: Result<Exchange, ExchangeError>,
+  result: Result<HttpResponse, RequestError>,
 ): Result<Uint8Array, Failure> => {
   if (result.isErr()) {
     const message = `${service.name} does not answer: ${result.error.message}`;
--- a/packages/platform/client/exchange.ts
+++ b/packages/platform/client/exchange.ts
@@ -7,21 +7,21 @@
 import type { Millis } from '../../core/clock.js';
 
 /** Error of a request without a response. */
-export type ExchangeError =
+export type RequestError =
   /** No connection was established, so the request was not sent. */
   | { readonly kind: 'not-sent'; readonly message: string }
   /** A connection was established, so the request may have taken effect. */
   | { readonly kind: 'lost'; readonly message: string };
 
 /** Response with its whole body. */
-export interface Exchange {
+export interface HttpResponse {
   readonly status: number;
   readonly retryAfterMs: Millis | undefined;
   readonly body: Uint8Array;
 }
 
 /** Request to a service of the platform, with at most one of `json` and `bytes` as its body. */
-export interface ExchangeRequest {
+export interface HttpRequest {
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly json?: unknown;
@@ -33,8 +33,8 @@
 }
 
 /** HTTP client of one service of the platform. */
-export interface Exchanger {
-  readonly send: (outgoing: ExchangeRequest) => Promise<Result<Exchange, ExchangeError>>;
+export interface HttpClient {
+  readonly send: (outgoing: HttpRequest) => Promise<Result<HttpResponse, RequestError>>;
   readonly close: () => Promise<void>;
 }
 
@@ -53,7 +53,7 @@
   return Number.isNaN(at) ? undefined : Math.max(0, at - now);
 };
 
-const readResponse = async (response: IncomingMessage): Promise<Exchange> => {
+const readResponse = async (response: IncomingMessage): Promise<HttpResponse> => {
   const chunks: Uint8Array[] = [];
   let size = 0;
   for await (const chunk of response as AsyncIterable<Uint8Array>) {
@@ -73,7 +73,7 @@
   readonly bytes: Uint8Array;
 }
 
-const encodeBody = ({ bytes, json }: ExchangeRequest): EncodedBody | null => {
+const encodeBody = ({ bytes, json }: HttpRequest): EncodedBody | null => {
   if (bytes !== undefined) return { type: 'application/octet-stream', bytes };
   if (json === undefined) return null;
   return { type: 'application/json', bytes: Buffer.from(JSON.stringify(json)) };
@@ -91,11 +91,11 @@
  * @param options - base URL and timeout
  * @returns the client, which never throws for a failure of the service or the network
  */
-export const createExchanger = (options: ClientOptions): Exchanger => {
+export const createHttpClient = (options: ClientOptions): HttpClient => {
   const agent = new Agent({ keepAlive: true });
   const serviceUrl = new URL(options.baseUrl);
 
-  const sendRequest = (outgoing: ExchangeRequest): Promise<Result<Exchange, ExchangeError>> =>
+  const sendRequest = (outgoing: HttpRequest): Promise<Result<HttpResponse, RequestError>> =>
     new Promise((resolve) => {
       const { method, path, signal, waitMs = 0 } = outgoing;
       const body = encodeBody(outgoing);
--- a/packages/platform/client/listClient.ts
+++ b/packages/platform/client/listClient.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { decodeJson, resolveBody } from './answers.js';
-import { createExchanger } from './exchange.js';
+import { createHttpClient } from './exchange.js';
 import type { ClientOptions, Instance, ListClient } from './types.js';
 
 const SERVICE = { name: 'the instance list', code: 'no-endpoint' } as const;
@@ -28,7 +28,7 @@
  * @returns the client
  */
 export const createListClient = (options: ClientOptions): ListClient => {
-  const { send, close } = createExchanger(options);
+  const { send, close } = createHttpClient(options);
   return {
     fetchInstances: async () => {
       const body = resolveBody(SERVICE, await send({ method: 'GET', path: '/instances' }));
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -2,8 +2,8 @@
 import { z } from 'zod';
 import { decodeJson, resolveBody } from './answers.js';
 import { DEFAULT_READ_LIMIT } from './constants.js';
-import { createExchanger } from './exchange.js';
-import type { Exchange, ExchangeError } from './exchange.js';
+import { createHttpClient } from './exchange.js';
+import type { HttpResponse, RequestError } from './exchange.js';
 import type { ClientOptions, LogClient, LogPage, ReadOptions } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { AppendResult } from '../../decisions/idempotency/types.js';
@@ -26,7 +26,7 @@
   firstOffset: offset,
 });
 
-const decodeAppendResponse = ({ status, body, retryAfterMs }: Exchange): AppendResult => {
+const decodeAppendResponse = ({ status, body, retryAfterMs }: HttpResponse): AppendResult => {
   const message = `the log answered with status ${status.toString()}`;
   if (status >= 400 && status < 500) {
     return { kind: 'rejected', message, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
@@ -39,7 +39,7 @@
     : { kind: 'unknown', message: parsed.error.message };
 };
 
-const toAppendResult = (result: Result<Exchange, ExchangeError>): AppendResult => {
+const toAppendResult = (result: Result<HttpResponse, RequestError>): AppendResult => {
   if (result.isOk()) return decodeAppendResponse(result.value);
   const { kind, message } = result.error;
   switch (kind) {
@@ -66,7 +66,7 @@
  * @returns the client
  */
 export const createLogClient = (options: ClientOptions): LogClient => {
-  const { send, close } = createExchanger(options);
+  const { send, close } = createHttpClient(options);
   const toPath = (stream: string): string => `/streams/${encodeURIComponent(stream)}/records`;
   return {
     append: async (stream, records) =>
--- a/packages/platform/client/weightClient.ts
+++ b/packages/platform/client/weightClient.ts
@@ -1,5 +1,5 @@
 import { resolveBody } from './answers.js';
-import { createExchanger } from './exchange.js';
+import { createHttpClient } from './exchange.js';
 import type { ClientOptions, WeightClient } from './types.js';
 
 const SERVICE = { name: 'the weight store', code: 'unknown-model' } as const;
@@ -11,7 +11,7 @@
  * @returns the client
  */
 export const createWeightClient = (options: ClientOptions): WeightClient => {
-  const { send, close } = createExchanger(options);
+  const { send, close } = createHttpClient(options);
   return {
     fetchWeights: async (model, version) => {
       const path = `/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`;
