Rename the symbols of the requests of the gateway to terms of the field

The old names were private to the project or did not say what the code holds.

- getTable -> getRoutingTable
- hasPeerBefore -> hasPeerWithHigherPriority
- listStreaming -> listSingleRunEndpoints

--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -43,7 +43,7 @@
     ]),
     seedsContactedAt: 0,
   },
-  requests: { table: new Map(), budgets: new Map(), coldSends: new Map() },
+  requests: { inFlight: new Map(), budgets: new Map(), coldRequestTimes: new Map() },
   moves: { orders: new Map() },
 });
 
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -67,7 +67,7 @@
   const add = (id: EndpointId, load: EndpointLoad): void => {
     loads.set(id, addLoads(loads.get(id) ?? NO_LOAD, load));
   };
-  for (const forwarding of state.table.values()) {
+  for (const forwarding of state.inFlight.values()) {
     for (const attempt of forwarding.attempts.values()) {
       const load = computeAttemptLoad(forwarding, attempt);
       add(attempt.endpoint.id, load);
@@ -86,9 +86,9 @@
  * @param state - requests in flight
  * @returns the endpoint ids
  */
-export const listStreaming = (state: RequestsState): readonly EndpointId[] => {
+export const listSingleRunEndpoints = (state: RequestsState): readonly EndpointId[] => {
   const ids = new Set<EndpointId>();
-  for (const { attempts, route } of state.table.values()) {
+  for (const { attempts, route } of state.inFlight.values()) {
     if (route.answer !== 'stream' || route.resume === 'resumable') continue;
     for (const { endpoint } of attempts.values()) ids.add(endpoint.id);
   }
@@ -111,7 +111,7 @@
   now: Millis,
 ): ReadonlyMap<EndpointId, number> => {
   const transfers = new Map<EndpointId, number>();
-  for (const forwarding of state.table.values()) {
+  for (const forwarding of state.inFlight.values()) {
     for (const { endpoint, transfer } of forwarding.attempts.values()) {
       if (transfer === null || (transfer.phase === 'waiting' && transfer.dueAt > now)) continue;
       const priority =
@@ -150,7 +150,7 @@
   const ownLimit = Math.max(1, Math.floor(totalLimit / inputs.countDaemons()));
   return candidates.map((candidate) => {
     if (candidate.coldHeadroom === null) return candidate;
-    const sentAt = state.coldSends.get(candidate.record.id) ?? [];
+    const sentAt = state.coldRequestTimes.get(candidate.record.id) ?? [];
     const recent = sentAt.filter((at) => now - at < COLD_WINDOW_MS).length;
     return { ...candidate, coldHeadroom: ownLimit - recent };
   });
@@ -168,6 +168,8 @@
   endpoint: EndpointId,
   now: Millis,
 ): void => {
-  const sentAt = (state.coldSends.get(endpoint) ?? []).filter((at) => now - at < COLD_WINDOW_MS);
-  state.coldSends.set(endpoint, [...sentAt, now]);
+  const sentAt = (state.coldRequestTimes.get(endpoint) ?? []).filter(
+    (at) => now - at < COLD_WINDOW_MS,
+  );
+  state.coldRequestTimes.set(endpoint, [...sentAt, now]);
 };
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -25,7 +25,7 @@
 
 /** Removes a request from those in flight; its attempts must have ended. */
 const removeRequest = (forwarding: Forwarding, { state }: RequestsContext): void => {
-  state.table.delete(forwarding.request.key);
+  state.inFlight.delete(forwarding.request.key);
 };
 
 const countOutcome = (forwarding: Forwarding, outcome: string): GatewayEffect => ({
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -74,14 +74,14 @@
   const logic = createRequestsLogic({
     clock,
     random: createRandomSource(3),
-    getTable: () => (configured === 'yes' ? table : null),
+    getRoutingTable: () => (configured === 'yes' ? table : null),
     listEndpoints: (service) =>
       endpoints
         .filter((record) => record.service === service)
         .map((record) => buildCandidate(record)),
     countDaemons: () => 1,
     getDrain: () => drain,
-    hasPeerBefore: (source) => peerPrioritySources.has(source),
+    hasPeerWithHigherPriority: (source) => peerPrioritySources.has(source),
     getLive: () => ({
       seeds: [],
       budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
@@ -143,7 +143,7 @@
       clock.advance(end - clock.now());
       return effects;
     },
-    countOpen: () => state.table.size,
+    countOpen: () => state.inFlight.size,
     setDrain: (next) => {
       drain = next;
     },
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -56,7 +56,7 @@
 
 const chooseTargetService = (route: Route, inputs: RequestsInputs): Service | null => {
   const name = chooseService(route, inputs.random);
-  return name === null ? null : (inputs.getTable()?.services.get(name) ?? null);
+  return name === null ? null : (inputs.getRoutingTable()?.services.get(name) ?? null);
 };
 
 /**
@@ -105,7 +105,7 @@
 
 const admitRequest = (request: ForwardRequest, context: RequestsContext): Effects => {
   const { inputs, state } = context;
-  const table = inputs.getTable();
+  const table = inputs.getRoutingTable();
   if (table === null) return refuseUnready(request, 'no configuration has been loaded yet');
   const found = findRoute(table, request);
   switch (found.kind) {
@@ -129,7 +129,7 @@
   }
   const service = chooseTargetService(route, inputs);
   if (service === null) return refuseUnready(request, 'the route has no service');
-  if (state.table.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
+  if (state.inFlight.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
   const now = inputs.clock.now();
   if (
     inputs.crashes.size > 0 &&
@@ -138,7 +138,7 @@
     return refuseUnready(request, 'the request crashed several endpoints');
   }
   const forwarding = createForwarding(request, route, service, customer);
-  state.table.set(request.key, forwarding);
+  state.inFlight.set(request.key, forwarding);
   countRequest(getBudget(forwarding, context), inputs.getLive().budget, now);
   return [
     {
@@ -153,7 +153,7 @@
 const cancelRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
   const { request, route } = forwarding;
   const { clock } = context.inputs;
-  context.state.table.delete(request.key);
+  context.state.inFlight.delete(request.key);
   return [
     ...cancelAttempts(forwarding),
     {
@@ -236,7 +236,7 @@
   if (event.kind === 'request-arrived') return admitRequest(event.request, context);
   if (event.kind === 'transfer-turn') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
-  const forwarding = context.state.table.get(event.key);
+  const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
     case 'caller-gone':
@@ -272,7 +272,7 @@
   inputs: RequestsInputs,
 ): ChildLogic<RequestsState, RequestsEvent, GatewayEffect> => ({
   init: () => ({
-    state: { table: new Map(), budgets: new Map(), coldSends: new Map() },
+    state: { inFlight: new Map(), budgets: new Map(), coldRequestTimes: new Map() },
     effects: [{ kind: 'reset-requests' }],
   }),
   decide: (state, event) => ({ state, effects: decideEvent(event, { state, inputs }) }),
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -72,7 +72,7 @@
   source: EndpointId,
   { state }: RequestsContext,
 ): readonly RunningGeneration[] =>
-  [...state.table.values()].flatMap((forwarding) =>
+  [...state.inFlight.values()].flatMap((forwarding) =>
     [...forwarding.attempts.values()]
       .filter((attempt) => attempt.endpoint.id === source)
       .map((attempt) => ({ forwarding, attempt })),
@@ -164,7 +164,7 @@
   );
   if (
     next === undefined ||
-    context.inputs.hasPeerBefore(source, computeTransferPriority(next.forwarding))
+    context.inputs.hasPeerWithHigherPriority(source, computeTransferPriority(next.forwarding))
   ) {
     return [scheduleNextTransfer(source, TRANSFER_TURN_CHECK_MS)];
   }
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -107,10 +107,10 @@
 }
 
 export interface RequestsState {
-  readonly table: Map<number, Forwarding>;
+  readonly inFlight: Map<number, Forwarding>;
   readonly budgets: Map<ServiceName, BudgetWindow>;
   /** Instants of the latest requests to each cold endpoint. */
-  readonly coldSends: Map<EndpointId, readonly Millis[]>;
+  readonly coldRequestTimes: Map<EndpointId, readonly Millis[]>;
 }
 
 /** Progress of a daemon's drain. */
@@ -125,13 +125,13 @@
 export interface RequestsInputs {
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly getTable: () => RoutingTable | null;
+  readonly getRoutingTable: () => RoutingTable | null;
   readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
   readonly countDaemons: () => number;
   /** Progress of the drain; null while the daemon is not draining. */
   readonly getDrain: () => DrainTimes | null;
   /** Whether a peer has a generation of higher priority to transfer from an endpoint. */
-  readonly hasPeerBefore: (source: EndpointId, priority: number) => boolean;
+  readonly hasPeerWithHigherPriority: (source: EndpointId, priority: number) => boolean;
   readonly getLive: () => LiveSettings;
   readonly crashes: CrashTable;
   readonly addOwnCrash: (fingerprint: string, endpoint: string) => void;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -27,7 +27,7 @@
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { performEffect } from './perform.js';
-import { listOwnTransfers, listStreaming, sumOwnLoads } from './requests/load.js';
+import { listOwnTransfers, listSingleRunEndpoints, sumOwnLoads } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
@@ -152,11 +152,11 @@
     requests: createRequestsLogic({
       clock,
       random,
-      getTable: () => states.configuration.table,
+      getRoutingTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, clock.now()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
-      hasPeerBefore: (source, priority) =>
+      hasPeerWithHigherPriority: (source, priority) =>
         isPrecededByPeer(
           states.peers,
           { source, priority, process: settings.process },
@@ -190,7 +190,7 @@
       clock,
       listPolledEngines: () =>
         isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
-          ? listStreaming(states.requests)
+          ? listSingleRunEndpoints(states.requests)
           : [],
     }),
     moves: createMovesLogic(),
@@ -198,7 +198,7 @@
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
-      countOpen: () => states.requests.table.size,
+      countOpen: () => states.requests.inFlight.size,
     }),
   };
 };
