Rename the symbols of the gateway beside its requests to terms of the field

The old names were private to the project or did not say what the code holds.

- sign -> observation
- CopyName -> CopyReference

--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -57,7 +57,7 @@
   | {
       readonly kind: 'attempt-observed';
       readonly endpoint: EndpointId;
-      readonly sign: AttemptObservation;
+      readonly observation: AttemptObservation;
     }
   | { readonly kind: 'reports-due' }
   | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -120,7 +120,12 @@
   const harness = createHarness();
   harness.change([register('e-1')]);
   const unreachable = { kind: 'unreachable' } as const;
-  harness.post({ to: 'membership', kind: 'attempt-observed', endpoint: 'e-1', sign: unreachable });
+  harness.post({
+    to: 'membership',
+    kind: 'attempt-observed',
+    endpoint: 'e-1',
+    observation: unreachable,
+  });
   t.true((harness.getState().endpoints.get('e-1')?.health.avoidUntil ?? 0) > 1_000);
   harness.change([register('e-1', { startedAt: 2 })]);
   t.is(harness.getState().endpoints.get('e-1')?.health.avoidUntil, 0);
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -299,7 +299,7 @@
       case 'data-centres-changed':
         return { state, effects: applyDataCentres(state, event.changes, event.scope) };
       case 'attempt-observed':
-        return { state, effects: applyObservation(state, event.endpoint, event.sign, now) };
+        return { state, effects: applyObservation(state, event.endpoint, event.observation, now) };
       case 'reports-due':
         return { state, effects: [...readReports(state, listPolledEngines()), NEXT_REPORT_POLL] };
       case 'report-read':
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -156,7 +156,7 @@
     to: 'membership',
     kind: 'attempt-observed',
     endpoint: attempt.endpoint.id,
-    sign: { kind: 'answered', durationMs: context.inputs.clock.now() - attempt.startedAt },
+    observation: { kind: 'answered', durationMs: context.inputs.clock.now() - attempt.startedAt },
   },
 });
 
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -23,7 +23,7 @@
 import type { Candidate, PlacementCriteria } from '../../decisions/forwarding/placeForward.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
-import type { CopyName } from '../types.js';
+import type { CopyReference } from '../types.js';
 
 /**
  * Computes the time without an event after which a stream fails over to another endpoint.
@@ -100,7 +100,7 @@
   readonly candidate: Candidate;
   readonly purpose: AttemptPurpose;
   /** Copy of the generation's memory to resume from; null for other attempts. */
-  readonly copy: CopyName | null;
+  readonly copy: CopyReference | null;
 }
 
 /**
@@ -256,7 +256,7 @@
 export const continueFromCopy = (
   forwarding: Forwarding,
   endpoint: EndpointRecord,
-  copy: CopyName,
+  copy: CopyReference,
   context: RequestsContext,
 ): Effects | null => {
   const candidates = listCandidates(forwarding, context);
--- a/packages/gateway/requests/generationCopy.ts
+++ b/packages/gateway/requests/generationCopy.ts
@@ -1,11 +1,11 @@
 import type { Attempt, Effects } from './types.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { CopyName } from '../types.js';
+import type { CopyReference } from '../types.js';
 
 /** Name of a generation's copy, and the endpoint that holds it. */
 export interface CopyLocation {
   readonly holder: EndpointRecord;
-  readonly name: CopyName;
+  readonly name: CopyReference;
 }
 
 /**
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -85,7 +85,7 @@
       to: 'membership',
       kind: 'attempt-observed',
       endpoint: attempt.endpoint.id,
-      sign: toObservation(end),
+      observation: toObservation(end),
     },
   },
   {
@@ -228,7 +228,7 @@
       to: 'membership',
       kind: 'attempt-observed',
       endpoint: endpoint.id,
-      sign: { kind: 'failed' },
+      observation: { kind: 'failed' },
     },
   }));
   const cancelled = cancelAttempts(forwarding);
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -14,7 +14,7 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
-import type { CopyName, TransferOrder, TransferResult } from '../types.js';
+import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
 
 /** A running generation: its request, and the attempt at the endpoint that runs it. */
 interface RunningGeneration {
@@ -181,7 +181,7 @@
 const resumeFromCopy = (
   run: RunningGeneration,
   endpoint: EndpointRecord,
-  copy: CopyName,
+  copy: CopyReference,
   context: RequestsContext,
 ): Effects => {
   const { attempt, forwarding } = run;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -116,11 +116,11 @@
   /** Endpoint to which the generation's memory is replicated while it runs; null for none. */
   readonly backup: EndpointAddress | null;
   /** Copy of the generation's memory from which to resume; null to start anew. */
-  readonly copy: CopyName | null;
+  readonly copy: CopyReference | null;
 }
 
 /** Reference to a copy of a generation's memory. */
-export type CopyName =
+export type CopyReference =
   /** Replica that an endpoint keeps under the request's id. */
   | { readonly kind: 'backup'; readonly holder: EndpointAddress }
   /** Copy made by a transfer, under a handle that its source assigned. */
