--- a/packages/cluster/atMostOnce.promise.test.ts
+++ b/packages/cluster/atMostOnce.promise.test.ts
@@ -3,13 +3,13 @@
 import type { CallerAnswer } from './callers/types.js';
 import { startCluster } from './startCluster.js';
 import {
-  buildCaller,
+  buildCallerTarget,
   fetchBalance,
   fetchStats,
   getInspectionUrl,
   openTestStream,
   sendSweep,
-  waitForLogged,
+  waitForLogEvent,
   waitUntil,
 } from './testing.js';
 import type { Cluster } from './types.js';
@@ -33,7 +33,7 @@
 /** Sends the same sweep until it is answered, as a caller does after a refusal as not-run. */
 const sendUntilAnswered = (key: string, baseUrl: string): Promise<CallerAnswer> =>
   waitUntil(async () => {
-    const answer = await sendSweep(buildCaller(cluster, baseUrl), key);
+    const answer = await sendSweep(buildCallerTarget(cluster, baseUrl), key);
     return getVerdict(answer) === 'not-run' ? undefined : answer;
   });
 
@@ -44,18 +44,18 @@
     keys.map(async (key) => ({
       key,
       answers: await Promise.all(
-        [0, 1].map((index) => sendSweep(buildCaller(cluster, getEntryUrl(index)), key)),
+        [0, 1].map((index) => sendSweep(buildCallerTarget(cluster, getEntryUrl(index)), key)),
       ),
     })),
   );
   for (const { key, answers } of pairs) {
-    const ran = answers.filter(({ status }) => status === 201);
-    t.true(ran.length >= 1, answers.map(({ text }) => text).join(' '));
-    t.is(new Set(ran.map(({ text }) => text)).size, 1);
+    const successes = answers.filter(({ status }) => status === 201);
+    t.true(successes.length >= 1, answers.map(({ text }) => text).join(' '));
+    t.is(new Set(successes.map(({ text }) => text)).size, 1);
     t.is(await countRuns(key), 1);
     const again = await sendUntilAnswered(key, getEntryUrl(1));
     t.is(again.status, 201, again.text);
-    t.is(again.text, ran[0]?.text ?? '');
+    t.is(again.text, successes[0]?.text ?? '');
     t.is(await countRuns(key), 1);
   }
 });
@@ -66,7 +66,7 @@
   const platformUrl = cluster.standinUrls.platform;
   await applyFault(platformUrl, { log: 'down' });
   const key = createId();
-  const caller = buildCaller(cluster, getEntryUrl(0));
+  const caller = buildCallerTarget(cluster, getEntryUrl(0));
   const refused = await sendSweep(caller, key);
   t.is(refused.status, 503, refused.text);
   t.like(refused.json, { verdict: 'not-run', code: 'log-unavailable' });
@@ -87,7 +87,7 @@
   await applyFault(platformUrl, { log: 'lose-answers' });
   const keys = Array.from({ length: 4 }, createId);
   const answers = await Promise.all(
-    keys.map((key) => sendSweep(buildCaller(cluster, getEntryUrl(0)), key)),
+    keys.map((key) => sendSweep(buildCallerTarget(cluster, getEntryUrl(0)), key)),
   );
   for (const [index, answer] of answers.entries()) {
     const runs = await countRuns(keys[index] ?? '');
@@ -108,12 +108,12 @@
   const { calls: before = 0 } = await fetchStats(inspectionUrl);
   await applyFault(inspectionUrl, { kind: 'delay-before', delayMs: 1_000 });
   const key = createId();
-  const cut = sendSweep(buildCaller(cluster, getEntryUrl(0)), key);
+  const interrupted = sendSweep(buildCallerTarget(cluster, getEntryUrl(0)), key);
   await waitUntil(async () =>
     ((await fetchStats(inspectionUrl))['calls'] ?? 0) > before ? true : undefined,
   );
   await cluster.findProcess('entry-1').kill('SIGKILL');
-  await t.throwsAsync(cut);
+  await t.throwsAsync(interrupted);
   const answer = await sendUntilAnswered(key, getEntryUrl(1));
   t.true(answer.status === 201 || getVerdict(answer) === 'may-have-run', answer.text);
   t.true((await countRuns(key)) <= 1);
@@ -125,13 +125,13 @@
   const frozen = cluster.findProcess('entry-1');
   const frozenUrl = getEntryUrl(0);
   frozen.freeze();
-  const late = sendSweep(buildCaller(cluster, frozenUrl), key);
+  const frozenAnswer = sendSweep(buildCallerTarget(cluster, frozenUrl), key);
   const answer = await sendUntilAnswered(key, getEntryUrl(1));
   t.is(answer.status, 201, answer.text);
   const other = cluster.findProcess('entry-2').urls['callers'] ?? '';
-  await waitForLogged(other, 'outcome-appended');
+  await waitForLogEvent(other, 'outcome-appended');
   frozen.resume();
-  const { status, text } = await late;
+  const { status, text } = await frozenAnswer;
   if (status === 201) t.is(text, answer.text);
   t.is(await countRuns(key), 1);
 });
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -170,9 +170,9 @@
     stream.end(body);
   });
 
-const addEnvelope = (message: Uint8Array, promised: number): Uint8Array => {
+const addEnvelope = (message: Uint8Array, declaredLength: number): Uint8Array => {
   const envelope = Buffer.alloc(5 + message.length);
-  envelope.writeUInt32BE(promised, 1);
+  envelope.writeUInt32BE(declaredLength, 1);
   envelope.set(message, 5);
   return envelope;
 };
@@ -193,8 +193,8 @@
   t.teardown(() => {
     session.destroy();
   });
-  const cut = CALL_MESSAGE.subarray(0, CALL_MESSAGE.length - 3);
-  const unary = await sendRaw(session, 'Call', 'application/proto', cut);
+  const truncated = CALL_MESSAGE.subarray(0, CALL_MESSAGE.length - 3);
+  const unary = await sendRaw(session, 'Call', 'application/proto', truncated);
   t.is(unary.status, 500);
   t.regex(unary.text, /parse binary/);
   const tooLong = await sendRaw(
@@ -207,14 +207,14 @@
   t.regex(tooLong.text, /larger than configured readMaxBytes 4194304/);
   const { length } = GENERATE_MESSAGE;
   const type = 'application/connect+proto';
-  const half = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length);
-  t.regex((await sendRaw(session, 'Generate', type, half)).text, /incomplete envelope/);
+  const incomplete = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length);
+  t.regex((await sendRaw(session, 'Generate', type, incomplete)).text, /incomplete envelope/);
   const damaged = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length - 3);
   t.regex((await sendRaw(session, 'Generate', type, damaged)).text, /parse binary/);
-  const announced = addEnvelope(GENERATE_MESSAGE, LARGE.length + 1);
-  t.regex((await sendRaw(session, 'Generate', type, announced)).text, /readMaxBytes 4194304/);
-  const left = received.items.filter(({ kind }) => kind !== 'reader-gone');
-  t.deepEqual(left, []);
+  const oversized = addEnvelope(GENERATE_MESSAGE, LARGE.length + 1);
+  t.regex((await sendRaw(session, 'Generate', type, oversized)).text, /readMaxBytes 4194304/);
+  const unexpected = received.items.filter(({ kind }) => kind !== 'reader-gone');
+  t.deepEqual(unexpected, []);
   void sendRaw(session, 'Call', 'application/proto', CALL_MESSAGE).catch(() => undefined);
   t.like(await received.take(), { kind: 'call-requested' });
 });
@@ -235,7 +235,7 @@
   t.deepEqual(received.items, []);
 });
 
-const IDENTITY = {
+const ENDPOINT_IDENTITY = {
   endpoint: 'e',
   instance: 'i',
   dataCentre: 'd',
@@ -247,7 +247,7 @@
   httpUrl: 'h',
 };
 
-const CONTENT = {
+const HEARTBEAT_CONTENT = {
   sequence: 7,
   engineStart: 's',
   phase: 'serving',
@@ -280,9 +280,9 @@
   const url = await server.listen('127.0.0.1', 0);
   t.teardown(() => server.close());
   const answers = createInbox<EndpointEvent>();
-  const client = createEntryClient(() => IDENTITY, 5_000, answers.push);
+  const client = createEntryClient(() => ENDPOINT_IDENTITY, 5_000, answers.push);
   t.teardown(client.close);
-  client.sendHeartbeat('entry', url, CONTENT);
+  client.sendHeartbeat('entry', url, HEARTBEAT_CONTENT);
   const [id] = await heartbeats.take();
   // A body of undefined is sent as an empty text, which is no JSON.
   const bodies = [{ a: 1 }, undefined, { b: 2 }];
--- a/packages/cluster/balancer/balancer.ts
+++ b/packages/cluster/balancer/balancer.ts
@@ -33,7 +33,7 @@
  */
 export const startBalancer = async ({ port, listTargets }: BalancerOptions): Promise<Balancer> => {
   const callers = new Set<Socket>();
-  let turn = 0;
+  let nextIndex = 0;
 
   const forward = (caller: Socket, targets: readonly string[]): void => {
     const [first, ...rest] = targets;
@@ -60,9 +60,9 @@
     // A caller may reset its connection before a target took it.
     caller.on('error', () => undefined);
     const targets = listTargets();
-    const first = targets.length === 0 ? 0 : turn % targets.length;
-    turn += 1;
-    forward(caller, [...targets.slice(first), ...targets.slice(0, first)]);
+    const start = targets.length === 0 ? 0 : nextIndex % targets.length;
+    nextIndex += 1;
+    forward(caller, [...targets.slice(start), ...targets.slice(0, start)]);
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/cluster/callers/standinPages.ts
+++ b/packages/cluster/callers/standinPages.ts
@@ -15,7 +15,7 @@
   return EXECUTIONS_SCHEMA.parse(await answer.body.json()).count;
 };
 
-const RUNS_SCHEMA = z.object({ requests: z.record(z.string(), z.number()) });
+const STATS_SCHEMA = z.object({ requests: z.record(z.string(), z.number()) });
 
 /**
  * Counts how often engine stand-ins ran the generations of a request id.
@@ -31,7 +31,7 @@
   let count = 0;
   for (const url of engineUrls) {
     const answer = await request(`${url}/standin/stats`);
-    count += RUNS_SCHEMA.parse(await answer.body.json()).requests[requestId] ?? 0;
+    count += STATS_SCHEMA.parse(await answer.body.json()).requests[requestId] ?? 0;
   }
   return count;
 };
--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -9,7 +9,7 @@
   ReadStream,
   StreamAnswer,
   StreamEnd,
-  StreamEvent,
+  ServerSentEvent,
   StreamProgress,
 } from './types.js';
 import { createWatch } from '../watch.js';
@@ -27,12 +27,12 @@
 });
 
 /** Progress of a stream, with its end once it has one. */
-interface Reading extends StreamProgress {
+interface StreamState extends StreamProgress {
   readonly end: StreamEnd | undefined;
   readonly firstChunkMs: number | undefined;
 }
 
-const UNREAD: Reading = {
+const INITIAL_STATE: StreamState = {
   texts: [],
   lastEventId: undefined,
   end: undefined,
@@ -48,23 +48,23 @@
  */
 export const parseProblem = (text: string): ProblemFields => PROBLEM_SCHEMA.parse(JSON.parse(text));
 
-const readTexts = (data: string): readonly string[] =>
+const parseChunkTexts = (data: string): readonly string[] =>
   CHUNK_SCHEMA.parse(JSON.parse(data)).choices.flatMap(({ delta }) => {
     const content = delta?.content ?? '';
     return content === '' ? [] : [content];
   });
 
-const applyEvent = (reading: Reading, event: StreamEvent, ageMs: number): Reading => {
+const applyEvent = (state: StreamState, event: ServerSentEvent, elapsedMs: number): StreamState => {
   if (event.event === 'error') {
-    return { ...reading, end: { kind: 'failed', problem: parseProblem(event.data) } };
+    return { ...state, end: { kind: 'failed', problem: parseProblem(event.data) } };
   }
-  if (event.data === '[DONE]') return { ...reading, end: { kind: 'done' } };
-  const texts = readTexts(event.data);
+  if (event.data === '[DONE]') return { ...state, end: { kind: 'done' } };
+  const texts = parseChunkTexts(event.data);
   return {
-    ...reading,
-    texts: texts.length === 0 ? reading.texts : [...reading.texts, ...texts],
-    lastEventId: event.id ?? reading.lastEventId,
-    firstChunkMs: reading.firstChunkMs ?? ageMs,
+    ...state,
+    texts: texts.length === 0 ? state.texts : [...state.texts, ...texts],
+    lastEventId: event.id ?? state.lastEventId,
+    firstChunkMs: state.firstChunkMs ?? elapsedMs,
   };
 };
 
@@ -110,23 +110,23 @@
   if (status !== 200) {
     return { kind: 'refused', status, problem: parseProblem(await answer.body.text()) };
   }
-  return readAnswer(answer, startedAt);
+  return createStreamHandle(answer, startedAt);
 };
 
-const readAnswer = (
+const createStreamHandle = (
   answer: Dispatcher.ResponseData,
   startedAt: number,
 ): Extract<StreamAnswer, { kind: 'stream' }> => {
-  const watch = createWatch<Reading>();
-  watch.publish(UNREAD);
+  const watch = createWatch<StreamState>();
+  watch.publish(INITIAL_STATE);
   const parser = createParser({
     onEvent: ({ id, event, data }) => {
       watch.publish(applyEvent(watch.get(), { id, event, data }, performance.now() - startedAt));
     },
   });
   const finish = (reason: string): void => {
-    const reading = watch.get();
-    watch.publish({ ...reading, end: reading.end ?? { kind: 'cut', reason } });
+    const state = watch.get();
+    watch.publish({ ...state, end: state.end ?? { kind: 'cut', reason } });
   };
   const decoder = new TextDecoder();
   answer.body.on('data', (bytes: Buffer) => {
@@ -146,14 +146,14 @@
     kind: 'stream',
     requestId: typeof requestId === 'string' ? requestId : '',
     waitForChunks: (count) =>
-      watch.wait((reading) =>
-        reading.texts.length >= count || reading.end !== undefined ? reading : undefined,
+      watch.wait((state) =>
+        state.texts.length >= count || state.end !== undefined ? state : undefined,
       ),
     read: () =>
-      watch.wait((reading): ReadStream | undefined =>
-        reading.end === undefined ? undefined : { ...reading, end: reading.end },
+      watch.wait((state): ReadStream | undefined =>
+        state.end === undefined ? undefined : { ...state, end: state.end },
       ),
-    leave: () => {
+    close: () => {
       answer.body.destroy();
     },
   };
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -7,7 +7,7 @@
 }
 
 /** One event of a stream, as the caller receives it. */
-export interface StreamEvent {
+export interface ServerSentEvent {
   readonly id: string | undefined;
   readonly event: string | undefined;
   readonly data: string;
@@ -55,7 +55,7 @@
       /** Reads to the end. */
       readonly read: () => Promise<ReadStream>;
       /** Leaves before the end. */
-      readonly leave: () => void;
+      readonly close: () => void;
     }
   | { readonly kind: 'refused'; readonly status: number; readonly problem: ProblemFields };
 
--- a/packages/cluster/cluster.test.ts
+++ b/packages/cluster/cluster.test.ts
@@ -4,16 +4,16 @@
 import test from 'ava';
 import { createKey } from './keys.js';
 import { planCluster } from './plan.js';
-import { writeEndpoint, writeEntry } from './settingsFiles.js';
+import { writeEndpointSettings, writeEntrySettings } from './settingsFiles.js';
 import { startCluster } from './startCluster.js';
 import { loadSettings } from '../settings/load.js';
 
 /** Directory for temporary files of this test file alone. */
-const FOLDER = mkdtempSync(join(tmpdir(), 'chestnutspan-cluster-test-'));
-process.env['TMPDIR'] = FOLDER;
+const TEST_DIRECTORY = mkdtempSync(join(tmpdir(), 'chestnutspan-cluster-test-'));
+process.env['TMPDIR'] = TEST_DIRECTORY;
 
 test.after.always(() => {
-  rmSync(FOLDER, { recursive: true, force: true });
+  rmSync(TEST_DIRECTORY, { recursive: true, force: true });
 });
 
 // Guards against settings that a daemon refuses, and against bearer keys in files.
@@ -26,8 +26,8 @@
   const plan = planCluster(options);
   const context = { directory, platformUrl, keys, models: plan.models, options };
   const urls = { engine: 'http://127.0.0.1:2', service: 'http://127.0.0.1:3' };
-  for (const planned of plan.endpoints) writeEndpoint(planned, urls, context);
-  for (const entry of plan.entries) writeEntry(entry, context);
+  for (const planned of plan.endpoints) writeEndpointSettings(planned, urls, context);
+  for (const entry of plan.entries) writeEntrySettings(entry, context);
   const files = readdirSync(directory).sort();
   t.deepEqual(
     files,
@@ -68,5 +68,5 @@
   await t.throwsAsync(startCluster(options), {
     message: /engine-1 did not start: it ended with code 64[^]*memory-tokens/,
   });
-  t.deepEqual(readdirSync(FOLDER), []);
+  t.deepEqual(readdirSync(TEST_DIRECTORY), []);
 });
--- a/packages/cluster/cluster.ts
+++ b/packages/cluster/cluster.ts
@@ -5,9 +5,9 @@
 import type { ClusterPlan, PlannedEndpoint } from './plan.js';
 import type { ProcessControl } from './processes/control.js';
 import type { ProcessRole, ProcessState, Urls } from './processes/types.js';
-import { writeEndpoint } from './settingsFiles.js';
+import { writeEndpointSettings } from './settingsFiles.js';
 import type { SettingsContext } from './settingsFiles.js';
-import type { Cluster, ClusterProcess, EnginePair, StandinUrls } from './types.js';
+import type { Cluster, ClusterProcess, EngineWithEndpoint, StandinUrls } from './types.js';
 
 /** Parts of a started cluster. */
 export interface ClusterParts {
@@ -53,7 +53,7 @@
   const withinMs = (options.drainMs ?? CLUSTER_DRAIN_MS) + STOP_MARGIN_MS;
   for (const role of STOP_ORDER) {
     const running = listStates(control, role).filter(({ phase }) => phase !== 'exited');
-    await control.end(
+    await control.stop(
       running.map(({ spec }) => spec.name),
       withinMs,
     );
@@ -62,7 +62,7 @@
   rmSync(directory, { recursive: true, force: true });
 };
 
-const createProcess = (
+const createProcessHandle = (
   control: ProcessControl,
   { spec: { name, role } }: ProcessState,
 ): ClusterProcess => {
@@ -113,12 +113,15 @@
 const startEngine = async (
   { context, control }: ClusterParts,
   planned: PlannedEndpoint,
-): Promise<EnginePair> => {
+): Promise<EngineWithEndpoint> => {
   const [engine] = await control.start([planned.standin]);
   if (engine === undefined) throw new Error('the engine did not start');
-  const [endpoint] = await control.start([writeEndpoint(planned, engine.urls, context)]);
+  const [endpoint] = await control.start([writeEndpointSettings(planned, engine.urls, context)]);
   if (endpoint === undefined) throw new Error('the endpoint daemon did not start');
-  return { engine: createProcess(control, engine), endpoint: createProcess(control, endpoint) };
+  return {
+    engine: createProcessHandle(control, engine),
+    endpoint: createProcessHandle(control, endpoint),
+  };
 };
 
 /**
@@ -131,7 +134,7 @@
   const { plan, context, control, balancer } = parts;
   const { keys, directory } = context;
   const listEntries = (): readonly ProcessState[] => listStates(control, 'entry');
-  let numbering = {
+  let counts = {
     engines: listStates(control, 'engine').length,
     endpoints: plan.endpoints.length,
   };
@@ -157,15 +160,15 @@
     },
     directory,
     get processes() {
-      return [...control.getTable().values()].map((state) => createProcess(control, state));
+      return [...control.getTable().values()].map((state) => createProcessHandle(control, state));
     },
-    findProcess: (name) => createProcess(control, findState(control, name)),
+    findProcess: (name) => createProcessHandle(control, findState(control, name)),
     addEngine: (spec) => {
-      const planned = planEngine(spec, numbering, plan.dataCentres);
-      numbering = { engines: numbering.engines + 1, endpoints: numbering.endpoints + 1 };
+      const planned = planEngine(spec, counts, plan.dataCentres);
+      counts = { engines: counts.engines + 1, endpoints: counts.endpoints + 1 };
       return startEngine(parts, planned);
     },
-    leave: (name) => {
+    drainDaemon: (name) => {
       control.post({ kind: 'leave', name });
       return control.waitForExit(name);
     },
--- a/packages/cluster/frozenEndpoint.test.ts
+++ b/packages/cluster/frozenEndpoint.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import { startCluster } from './startCluster.js';
-import { buildCaller, fetchBalance, openTestStream, waitForLogged } from './testing.js';
+import { buildCallerTarget, fetchBalance, openTestStream, waitForLogEvent } from './testing.js';
 
-const LONG = 3_000;
+const STREAM_TOKENS = 3_000;
 
 // Guards against an entry daemon that ends because one endpoint daemon does not answer: the probe of
 // the frozen connection breaks it, and its running streams resume at once.
@@ -10,16 +10,16 @@
   const cluster = await startCluster({ entryDaemons: 1, engines: [{}], ledgers: 1 });
   t.teardown(cluster.stop);
   const entryUrl = cluster.entryUrls[0] ?? '';
-  const caller = buildCaller(cluster, entryUrl);
+  const caller = buildCallerTarget(cluster, entryUrl);
   const streams = await Promise.all(
     ['memo 0', 'memo 1'].map((content) =>
-      openTestStream(caller, { model: cluster.model, content, targetTokens: LONG }),
+      openTestStream(caller, { model: cluster.model, content, targetTokens: STREAM_TOKENS }),
     ),
   );
   await Promise.all(streams.map((stream) => stream.waitForChunks(5)));
   const endpoint = cluster.findProcess('endpoint-1');
   endpoint.freeze();
-  await waitForLogged(entryUrl, 'endpoint-phase-changed', ({ data }) => data?.['to'] === 'gone');
+  await waitForLogEvent(entryUrl, 'endpoint-phase-changed', ({ data }) => data?.['to'] === 'gone');
   for (const stream of streams) {
     const { end } = await stream.read();
     t.is(end.kind, 'failed');
--- a/packages/cluster/generationOnce.promise.test.ts
+++ b/packages/cluster/generationOnce.promise.test.ts
@@ -4,13 +4,19 @@
 import { openStream } from './callers/streamClient.js';
 import type { ChatOptions, ProblemFields } from './callers/types.js';
 import { startCluster } from './startCluster.js';
-import { buildCaller, checkTokens, openTestStream, waitForLogged, waitUntil } from './testing.js';
+import {
+  buildCallerTarget,
+  checkTokens,
+  openTestStream,
+  waitForLogEvent,
+  waitUntil,
+} from './testing.js';
 import type { Cluster } from './types.js';
 import { createId } from '../core/ids.js';
 
 const TARGET_TOKENS = 120;
-const SHOWN_CHUNKS = 10;
-const ONCE = {
+const CHUNKS_BEFORE_FAULT = 10;
+const NEVER_REPEAT_CLASS = {
   className: 'once',
   importance: 'standard',
   answerLength: 'long',
@@ -38,12 +44,12 @@
       kind: 'targets',
       entity: 'targets',
       basedOn: null,
-      body: { classes: [ONCE] },
+      body: { classes: [NEVER_REPEAT_CLASS] },
     }),
   });
   if (answer.statusCode !== 200) throw new Error(await answer.body.text());
   await answer.body.dump();
-  for (const url of cluster.entryUrls) await waitForLogged(url, 'configuration-applied');
+  for (const url of cluster.entryUrls) await waitForLogEvent(url, 'configuration-applied');
 };
 
 test.beforeEach(async () => {
@@ -60,7 +66,7 @@
   model: cluster.model,
   content: `board paper ${createId()}`,
   targetTokens: TARGET_TOKENS,
-  className: ONCE.className,
+  className: NEVER_REPEAT_CLASS.className,
   requestId: createId(),
   ...(key === undefined ? {} : { idempotencyKey: key }),
 });
@@ -72,8 +78,8 @@
   | { readonly kind: 'answer'; readonly texts: readonly string[] }
   | { readonly kind: 'problem'; readonly problem: ProblemFields };
 
-const sendOnce = async (baseUrl: string, options: ChatOptions): Promise<Reply> => {
-  const answer = await openStream(buildCaller(cluster, baseUrl), options);
+const sendGeneration = async (baseUrl: string, options: ChatOptions): Promise<Reply> => {
+  const answer = await openStream(buildCallerTarget(cluster, baseUrl), options);
   if (answer.kind === 'refused') return { kind: 'problem', problem: answer.problem };
   const { end, texts } = await answer.read();
   if (end.kind === 'done') return { kind: 'answer', texts };
@@ -84,7 +90,7 @@
 /** Sends until the reply is other than a refusal as not-run, as a caller does. */
 const sendUntilAnswered = (baseUrl: string, options: ChatOptions): Promise<Reply> =>
   waitUntil(async () => {
-    const reply = await sendOnce(baseUrl, options);
+    const reply = await sendGeneration(baseUrl, options);
     const isRefused = reply.kind === 'problem' && reply.problem.verdict === 'not-run';
     return isRefused ? undefined : reply;
   });
@@ -92,31 +98,31 @@
 // Guards against a caller who sends a generation again after a crash and makes it run twice.
 test.serial('a generation whose entry daemon is killed in mid-stream runs once', async (t) => {
   const options = buildOptions(createId());
-  const cut = await openTestStream(buildCaller(cluster, getEntryUrl(0)), options);
-  const shown = await cut.waitForChunks(SHOWN_CHUNKS);
+  const interrupted = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
+  const received = await interrupted.waitForChunks(CHUNKS_BEFORE_FAULT);
   await cluster.findProcess('entry-1').kill('SIGKILL');
-  t.is((await cut.read()).end.kind, 'cut');
+  t.is((await interrupted.read()).end.kind, 'cut');
   const reply = await sendUntilAnswered(getEntryUrl(1), options);
   t.is(reply.kind, 'answer', JSON.stringify(reply));
   if (reply.kind !== 'answer') return;
   t.is(checkTokens(reply.texts), null);
   t.is(reply.texts.length, TARGET_TOKENS);
   // The first token names the generation.
-  t.is(reply.texts[0], shown.texts[0]);
+  t.is(reply.texts[0], received.texts[0]);
   t.is(await countRuns(options.requestId), 1);
 });
 
 // Guards against a repeated key that starts a second generation at the same or another daemon.
 test.serial('a repeated key gets the stored answer at both entry daemons', async (t) => {
   const options = buildOptions(createId());
-  const first = await sendOnce(getEntryUrl(0), options);
+  const first = await sendGeneration(getEntryUrl(0), options);
   t.is(first.kind, 'answer', JSON.stringify(first));
   for (const index of [0, 1, 0]) {
     t.deepEqual(await sendUntilAnswered(getEntryUrl(index), options), first);
   }
   t.is(await countRuns(options.requestId), 1);
   const other = { ...options, content: 'another paper' };
-  const conflict = await sendOnce(getEntryUrl(1), other);
+  const conflict = await sendGeneration(getEntryUrl(1), other);
   t.like(conflict, { kind: 'problem', problem: { verdict: 'not-run', code: 'key-conflict' } });
   t.is(await countRuns(options.requestId), 1);
 });
@@ -135,28 +141,28 @@
 // Guards against a caller that leaves a keyed generation, which an orphan timeout then cancels.
 test.serial('a generation whose caller left runs to its end and is kept', async (t) => {
   const options = buildOptions(createId());
-  const left = await openTestStream(buildCaller(cluster, getEntryUrl(0)), options);
-  const shown = await left.waitForChunks(SHOWN_CHUNKS);
-  left.leave();
-  await waitForLogged(getEntryUrl(0), 'outcome-appended');
+  const abandoned = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
+  const received = await abandoned.waitForChunks(CHUNKS_BEFORE_FAULT);
+  abandoned.close();
+  await waitForLogEvent(getEntryUrl(0), 'outcome-appended');
   const reply = await sendUntilAnswered(getEntryUrl(1), options);
   t.is(reply.kind, 'answer', JSON.stringify(reply));
-  if (reply.kind === 'answer') t.is(reply.texts[0], shown.texts[0]);
+  if (reply.kind === 'answer') t.is(reply.texts[0], received.texts[0]);
   t.is(await countRuns(options.requestId), 1);
 });
 
 // Guards against a second attempt after one that may have run, for a request without a key.
 test.serial('a generation without a key makes one attempt that may have run', async (t) => {
   const options = { ...buildOptions(), targetTokens: 2_000 };
-  const stream = await openTestStream(buildCaller(cluster, getEntryUrl(0)), options);
-  await stream.waitForChunks(SHOWN_CHUNKS);
-  const engines = cluster.processes.filter(({ role }) => role === 'endpoint');
+  const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
+  await stream.waitForChunks(CHUNKS_BEFORE_FAULT);
+  const endpoints = cluster.processes.filter(({ role }) => role === 'endpoint');
   const runs = await Promise.all(
     Object.values(cluster.standinUrls.engines).map((url) =>
       countGenerations([url], options.requestId),
     ),
   );
-  const endpoint = engines.filter(({ urls }) => urls['rpc'] !== undefined)[runs.indexOf(1)];
+  const endpoint = endpoints.filter(({ urls }) => urls['rpc'] !== undefined)[runs.indexOf(1)];
   await endpoint?.kill('SIGKILL');
   const { end } = await stream.read();
   t.like(end, { kind: 'failed', problem: { verdict: 'may-have-run' } });
--- a/packages/cluster/gracefulShutdown.promise.test.ts
+++ b/packages/cluster/gracefulShutdown.promise.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
 import { startCluster } from './startCluster.js';
-import { buildCaller, checkTokens, openTestStream } from './testing.js';
+import { buildCallerTarget, checkTokens, openTestStream } from './testing.js';
 import type { Cluster, ClusterOptions } from './types.js';
 
-const LONG = 300;
+const STREAM_TOKENS = 300;
 
 const startTestCluster = (options: ClusterOptions = {}): Promise<Cluster> =>
   startCluster({ engines: [{}, {}], ledgers: 0, ...options });
@@ -11,10 +11,10 @@
 const startStreams = (cluster: Cluster, baseUrl: string, count: number) =>
   Promise.all(
     Array.from({ length: count }, (_, index) =>
-      openTestStream(buildCaller(cluster, baseUrl), {
+      openTestStream(buildCallerTarget(cluster, baseUrl), {
         model: cluster.model,
         content: `memo ${index.toString()}`,
-        targetTokens: LONG,
+        targetTokens: STREAM_TOKENS,
       }),
     ),
   );
@@ -30,7 +30,7 @@
     const { texts, end } = await stream.read();
     t.deepEqual(end, { kind: 'done' });
     t.is(checkTokens(texts), null);
-    t.is(texts.length, LONG);
+    t.is(texts.length, STREAM_TOKENS);
   }
   t.deepEqual(await exit, { code: 0, signal: null });
 });
@@ -47,7 +47,7 @@
     t.deepEqual(exit, { code: 0, signal: null });
     const first = await stream?.read();
     t.is(first?.end.kind, 'cut');
-    const resumed = await openTestStream(buildCaller(cluster, cluster.entryUrls[1]), {
+    const resumed = await openTestStream(buildCallerTarget(cluster, cluster.entryUrls[1]), {
       model: cluster.model,
       content: 'memo 0',
       lastEventId: first?.lastEventId ?? '',
@@ -56,7 +56,7 @@
     t.deepEqual(rest.end, { kind: 'done' });
     const texts = [...(first?.texts ?? []), ...rest.texts];
     t.is(checkTokens(texts), null);
-    t.is(texts.length, LONG);
+    t.is(texts.length, STREAM_TOKENS);
   },
 );
 
@@ -68,13 +68,13 @@
     t.teardown(cluster.stop);
     const streams = await startStreams(cluster, cluster.baseUrl, 3);
     await Promise.all(streams.map((stream) => stream.waitForChunks(5)));
-    const exit = cluster.leave('endpoint-1');
+    const exit = cluster.drainDaemon('endpoint-1');
     const later = await startStreams(cluster, cluster.baseUrl, 2);
     for (const stream of [...streams, ...later]) {
       const { texts, end } = await stream.read();
       t.deepEqual(end, { kind: 'done' });
       t.is(checkTokens(texts), null);
-      t.is(texts.length, LONG);
+      t.is(texts.length, STREAM_TOKENS);
     }
     t.deepEqual(await exit, { code: 0, signal: null });
   },
--- a/packages/cluster/instances/listClient.ts
+++ b/packages/cluster/instances/listClient.ts
@@ -3,14 +3,14 @@
 import type { ClusterEffect, ProcessesEvent } from '../processes/types.js';
 
 /** The platform's own side of the instance list. */
-export interface ListClient {
-  readonly list: (effect: Extract<ClusterEffect, { kind: 'list-instance' }>) => void;
-  readonly unlist: (effect: Extract<ClusterEffect, { kind: 'unlist-instance' }>) => void;
+export interface InstanceListClient {
+  readonly register: (effect: Extract<ClusterEffect, { kind: 'list-instance' }>) => void;
+  readonly deregister: (effect: Extract<ClusterEffect, { kind: 'unlist-instance' }>) => void;
   /** Resolves when all changes so far were answered. */
   readonly waitUntilIdle: () => Promise<void>;
 }
 
-export interface ListClientOptions {
+export interface InstanceListClientOptions {
   readonly getPlatformUrl: () => string;
   readonly post: (event: ProcessesEvent) => void;
 }
@@ -22,8 +22,11 @@
  * @param options - address of the platform stand-in, and where events go
  * @returns the client
  */
-export const createListClient = ({ getPlatformUrl, post }: ListClientOptions): ListClient => {
-  let last: Promise<void> = Promise.resolve();
+export const createInstanceListClient = ({
+  getPlatformUrl,
+  post,
+}: InstanceListClientOptions): InstanceListClient => {
+  let lastChange: Promise<void> = Promise.resolve();
 
   const send = async (method: 'PUT' | 'DELETE', id: string, body?: object): Promise<void> => {
     const answer = await request(`${getPlatformUrl()}/instances/${encodeURIComponent(id)}`, {
@@ -37,25 +40,25 @@
     if (answer.statusCode !== 200) throw new Error(`${answer.statusCode.toString()} ${text}`);
   };
 
-  const perform = (name: string, run: number, change: () => Promise<void>): Promise<void> =>
+  const performChange = (name: string, run: number, change: () => Promise<void>): Promise<void> =>
     change().catch((error: unknown) => {
       const problem = `the instance list did not take a change: ${String(error)}`;
       post({ kind: 'list-failed', name, run, problem });
     });
 
   return {
-    list: ({ name, run, role, listing, state, rpcUrl, httpUrl }) => {
+    register: ({ name, run, role, listing, state, rpcUrl, httpUrl }) => {
       const { id, ...fields } = listing;
-      last = last.then(() =>
-        perform(name, run, async () => {
+      lastChange = lastChange.then(() =>
+        performChange(name, run, async () => {
           await send('PUT', id, { ...fields, role, state, rpcUrl, httpUrl });
           post({ kind: 'listed', name, run, state });
         }),
       );
     },
-    unlist: ({ name, run, id }) => {
-      last = last.then(() => perform(name, run, () => send('DELETE', id)));
+    deregister: ({ name, run, id }) => {
+      lastChange = lastChange.then(() => performChange(name, run, () => send('DELETE', id)));
     },
-    waitUntilIdle: () => last,
+    waitUntilIdle: () => lastChange,
   };
 };
--- a/packages/cluster/loadCluster.ts
+++ b/packages/cluster/loadCluster.ts
@@ -9,7 +9,7 @@
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 100;
 
-const toOptions = (scenario: Scenario, policy: LoadPolicy): ClusterOptions => {
+const toClusterOptions = (scenario: Scenario, policy: LoadPolicy): ClusterOptions => {
   const { deployment, customers } = scenario;
   const [service] = deployment.services;
   return {
@@ -46,11 +46,11 @@
   const { entities } = (await current.body.json()) as {
     readonly entities: readonly { kind: string; entity: string; offset: number }[];
   };
-  const known = entities.find((entry) => entry.kind === kind && entry.entity === entity);
+  const existing = entities.find((entry) => entry.kind === kind && entry.entity === entity);
   const answer = await request(`${cluster.operatorUrl}/operator/records`, {
     method: 'POST',
     headers,
-    body: JSON.stringify({ kind, entity, basedOn: known?.offset ?? null, body }),
+    body: JSON.stringify({ kind, entity, basedOn: existing?.offset ?? null, body }),
   });
   const text = await answer.body.text();
   if (answer.statusCode !== 200) throw new Error(`${kind} ${entity} was refused: ${text}`);
@@ -61,7 +61,7 @@
   await publishRecord(cluster, 'targets', 'targets', { classes });
 };
 
-const performOperation = (cluster: Cluster, action: OperatorAction): Promise<void> => {
+const performOperatorAction = (cluster: Cluster, action: OperatorAction): Promise<void> => {
   switch (action.kind) {
     case 'take-out':
       return publishRecord(cluster, 'data-centre', action.dataCentre, { state: 'out' });
@@ -130,7 +130,7 @@
   scenario: Scenario,
   policy: LoadPolicy,
 ): Promise<RunningCluster> => {
-  const cluster = await startCluster(toOptions(scenario, policy));
+  const cluster = await startCluster(toClusterOptions(scenario, policy));
   try {
     await publishTargets(cluster, scenario);
     await waitForReady(cluster);
@@ -158,7 +158,7 @@
     ),
     platformUrl: platform,
     applyFault: (process, fault) => applyFault(cluster, process, fault),
-    operate: (action) => performOperation(cluster, action),
+    operate: (action) => performOperatorAction(cluster, action),
     close: cluster.stop,
   };
 };
--- a/packages/cluster/moveNotice.test.ts
+++ b/packages/cluster/moveNotice.test.ts
@@ -4,28 +4,28 @@
 import test from 'ava';
 import { request } from 'undici';
 import { startCluster } from './startCluster.js';
-import { waitForLogged, waitUntil } from './testing.js';
+import { waitForLogEvent, waitUntil } from './testing.js';
 import type { Cluster } from './types.js';
 
-interface Notice {
+interface ReceivedNotification {
   readonly id: string;
   readonly event: string;
 }
 
-const MOVE = 'to-v2';
+const MOVE_NAME = 'to-v2';
 
 let cluster: Cluster;
 let receiver: Server;
 let port: number;
-let notices: Notice[];
+let notifications: ReceivedNotification[];
 
 test.beforeEach(async () => {
-  notices = [];
+  notifications = [];
   receiver = createServer((message, reply) => {
     const parts: Buffer[] = [];
     message.on('data', (part: Buffer) => parts.push(part));
     message.on('end', () => {
-      notices.push(JSON.parse(Buffer.concat(parts).toString('utf8')) as Notice);
+      notifications.push(JSON.parse(Buffer.concat(parts).toString('utf8')) as ReceivedNotification);
       reply.end();
     });
   });
@@ -48,7 +48,7 @@
       authorization: `Bearer ${cluster.operatorKey}`,
       'content-type': 'application/json',
     },
-    body: JSON.stringify({ kind, entity: MOVE, basedOn, body }),
+    body: JSON.stringify({ kind, entity: MOVE_NAME, basedOn, body }),
   });
   const text = await answer.body.text();
   if (answer.statusCode !== 200) throw new Error(text);
@@ -57,43 +57,43 @@
 
 const startMove = (): Promise<number> => {
   const now = Date.now();
-  const move = { name: MOVE, model: cluster.model, from: 'v1', to: 'v2' };
+  const move = { name: MOVE_NAME, model: cluster.model, from: 'v1', to: 'v2' };
   return publish('move', { ...move, startedAt: now, deadline: now + 600_000 }, null);
 };
 
-const listEnds = (): readonly Notice[] =>
-  notices.filter(({ event }) => event === 'move-taken-back');
+const listEndNotifications = (): readonly ReceivedNotification[] =>
+  notifications.filter(({ event }) => event === 'move-taken-back');
 
-const waitForRecord = (url: string) =>
-  waitForLogged(url, 'configuration-applied', ({ data }) => data?.['kind'] === 'move-notified');
+const waitForNotifiedRecord = (url: string) =>
+  waitForLogEvent(url, 'configuration-applied', ({ data }) => data?.['kind'] === 'move-notified');
 
 // Guards against one notification of the same end from every entry daemon, and from each daemon
 // that starts again later.
 test.serial('an ended move is notified once by two entry daemons', async (t) => {
   const offset = await startMove();
   await publish('move-ended', { outcome: 'taken-back', reason: 'by hand' }, offset);
-  for (const url of cluster.entryUrls) await waitForRecord(url);
-  t.is(listEnds().length, 1);
-  t.regex(listEnds()[0]?.id ?? '', /^move-taken-back\/to-v2\/\d+$/);
+  for (const url of cluster.entryUrls) await waitForNotifiedRecord(url);
+  t.is(listEndNotifications().length, 1);
+  t.regex(listEndNotifications()[0]?.id ?? '', /^move-taken-back\/to-v2\/\d+$/);
   await cluster.findProcess('entry-1').restart();
-  await waitForRecord(cluster.entryUrls[0] ?? '');
-  t.is(listEnds().length, 1);
+  await waitForNotifiedRecord(cluster.entryUrls[0] ?? '');
+  t.is(listEndNotifications().length, 1);
 });
 
 // Guards against an end that nobody tells of, because the daemon that appended it is gone.
 test.serial('another entry daemon notifies when the author of the end is gone', async (t) => {
   const offset = await startMove();
   const [first = '', second = ''] = cluster.entryUrls;
-  await waitForLogged(second, 'move-started');
+  await waitForLogEvent(second, 'move-started');
   // The first daemon cannot reach the receiver any more, and ends with the end in the log.
   receiver.closeAllConnections();
   await new Promise((resolve) => receiver.close(resolve));
   await publish('move-ended', { outcome: 'taken-back', reason: 'by hand' }, offset);
-  await waitForLogged(first, 'notification-failed');
+  await waitForLogEvent(first, 'notification-failed');
   await cluster.findProcess('entry-1').kill('SIGKILL');
-  t.is(listEnds().length, 0);
+  t.is(listEndNotifications().length, 0);
   await new Promise<void>((resolve) => receiver.listen(port, '127.0.0.1', resolve));
-  await waitUntil(() => Promise.resolve(listEnds().length > 0 ? true : undefined));
-  await waitForRecord(second);
-  t.is(listEnds().length, 1);
+  await waitUntil(() => Promise.resolve(listEndNotifications().length > 0 ? true : undefined));
+  await waitForNotifiedRecord(second);
+  t.is(listEndNotifications().length, 1);
 });
--- a/packages/cluster/notRun.promise.test.ts
+++ b/packages/cluster/notRun.promise.test.ts
@@ -3,7 +3,7 @@
 import { countExecutions } from './callers/standinPages.js';
 import type { CallerTarget, ServiceCall } from './callers/types.js';
 import { startCluster } from './startCluster.js';
-import { buildCaller, fetchStats, getInspectionUrl } from './testing.js';
+import { buildCallerTarget, fetchStats, getInspectionUrl } from './testing.js';
 import type { Cluster } from './types.js';
 
 const MAX_BODY_BYTES = 4_096;
@@ -37,7 +37,7 @@
   const sweep = { method: 'POST', path: '/services/ledger/sweeps' } as const;
   const large = 'x'.repeat(MAX_BODY_BYTES + 1);
   const largeBody = buildChat({ messages: [{ role: 'user', content: large }] });
-  const oldKey = { 'idempotency-key-issued-at': '2001-01-01T00:00:00Z' };
+  const expiredKeyHeaders = { 'idempotency-key-issued-at': '2001-01-01T00:00:00Z' };
   return [
     {
       name: 'malformed JSON',
@@ -109,7 +109,7 @@
       status: 400,
       code: 'key-expired',
       detail: /^the key was issued before/,
-      call: { ...sweep, idempotencyKey: 'refused', body: {}, headers: oldKey },
+      call: { ...sweep, idempotencyKey: 'refused', body: {}, headers: expiredKeyHeaders },
     },
     {
       name: 'empty idempotency key',
@@ -136,7 +136,7 @@
 // that then run all the same.
 test.serial('bad input is refused as not-run, with its code, and nothing runs', async (t) => {
   const engineUrl = Object.values(cluster.standinUrls.engines)[0] ?? '';
-  const caller: CallerTarget = buildCaller(cluster);
+  const caller: CallerTarget = buildCallerTarget(cluster);
   for (const { name, status, code, detail, call, key } of listBadInputs()) {
     const answer = await sendCall({ ...caller, key: key ?? caller.key }, call);
     t.is(answer.status, status, `${name}: ${answer.text}`);
@@ -164,7 +164,7 @@
     path: '/services/ledger/balances/caroni',
     headers: { 'x-request-id': 'request-of-the-caller' },
   };
-  const answer = await sendCall(buildCaller(cluster), call);
+  const answer = await sendCall(buildCallerTarget(cluster), call);
   t.is(answer.status, 200, answer.text);
   t.is(answer.requestId, 'request-of-the-caller');
 });
--- a/packages/cluster/onceInOrder.promise.test.ts
+++ b/packages/cluster/onceInOrder.promise.test.ts
@@ -2,10 +2,16 @@
 import { applyFault } from './callers/standinPages.js';
 import type { ReadStream } from './callers/types.js';
 import { startCluster } from './startCluster.js';
-import { buildCaller, checkTokens, fetchStats, openTestStream, waitForLogged } from './testing.js';
+import {
+  buildCallerTarget,
+  checkTokens,
+  fetchStats,
+  openTestStream,
+  waitForLogEvent,
+} from './testing.js';
 import type { Cluster } from './types.js';
 
-const LONG = 300;
+const STREAM_TOKENS = 300;
 
 let cluster: Cluster;
 
@@ -21,29 +27,29 @@
 
 // Guards against tokens that are lost or repeated, or a second generation, after an entry daemon died.
 test.serial('a stream goes on at the other entry daemon after one was killed', async (t) => {
-  const options = { model: cluster.model, content: 'memo', targetTokens: LONG };
-  const stream = await openTestStream(buildCaller(cluster, getEntryUrl(0)), options);
+  const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
+  const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   await stream.waitForChunks(20);
   await cluster.findProcess('entry-1').kill('SIGKILL');
   const first = await stream.read();
   t.is(first.end.kind, 'cut');
   t.is(checkTokens(first.texts), null);
-  t.true(first.texts.length < LONG);
-  const resumed = await openTestStream(buildCaller(cluster, getEntryUrl(1)), {
+  t.true(first.texts.length < STREAM_TOKENS);
+  const resumed = await openTestStream(buildCallerTarget(cluster, getEntryUrl(1)), {
     ...options,
     lastEventId: first.lastEventId ?? '',
   });
   const rest = await resumed.read();
   t.deepEqual(rest.end, { kind: 'done' });
   t.is(checkTokens([...first.texts, ...rest.texts]), null);
-  t.is(first.texts.length + rest.texts.length, LONG);
+  t.is(first.texts.length + rest.texts.length, STREAM_TOKENS);
 });
 
 // Guards against a stream that hangs, ends as if it were whole, or goes on with other tokens after
 // the process that held it has died.
 test.serial('a stream whose endpoint daemon was killed ends with an explicit error', async (t) => {
-  const options = { model: cluster.model, content: 'memo', targetTokens: LONG };
-  const stream = await openTestStream(buildCaller(cluster), options);
+  const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
+  const stream = await openTestStream(buildCallerTarget(cluster), options);
   await stream.waitForChunks(20);
   const endpoint = cluster.findProcess('endpoint-1');
   await endpoint.kill('SIGKILL');
@@ -51,11 +57,11 @@
   t.is(checkTokens(texts), null);
   t.like(end, { kind: 'failed', problem: { code: 'stream-lost', verdict: 'may-have-run' } });
   await endpoint.restart();
-  const again = await openTestStream(buildCaller(cluster), { ...options, targetTokens: 10 });
+  const again = await openTestStream(buildCallerTarget(cluster), { ...options, targetTokens: 10 });
   t.like(await again.read(), { end: { kind: 'done' } });
 });
 
-const checkExplicit = ({ texts, end }: ReadStream, tokens: number): string | null => {
+const checkExplicitEnd = ({ texts, end }: ReadStream, tokens: number): string | null => {
   if (end.kind === 'cut') return `cut: ${end.reason}`;
   if (end.kind === 'done' && texts.length !== tokens)
     return `ended after ${texts.length.toString()}`;
@@ -67,8 +73,8 @@
 test.serial(
   'an engine that restarts cold under load splices nothing and is not overrun',
   async (t) => {
-    const options = { model: cluster.model, targetTokens: LONG };
-    const caller = buildCaller(cluster);
+    const options = { model: cluster.model, targetTokens: STREAM_TOKENS };
+    const caller = buildCallerTarget(cluster);
     // The first streams have an endpoint at once; the others wait for the admission limit to grow.
     const waiting = Array.from({ length: 8 }, (_, index) =>
       openTestStream(caller, { ...options, content: `memo ${index.toString()}` }),
@@ -78,13 +84,13 @@
     const endpointUrl = cluster.findProcess('endpoint-1').urls['http'] ?? '';
     const before = await fetchStats(getEngineUrl());
     await applyFault(getEngineUrl(), { kind: 'restart-cold' });
-    await waitForLogged(endpointUrl, 'engine-restarted');
-    const settled = await Promise.allSettled(
+    await waitForLogEvent(endpointUrl, 'engine-restarted');
+    const results = await Promise.allSettled(
       waiting.map(async (opening) => (await opening).read()),
     );
-    for (const result of settled) {
+    for (const result of results) {
       // A refusal is explicit too: nothing of it was shown.
-      if (result.status === 'fulfilled') t.is(checkExplicit(result.value, LONG), null);
+      if (result.status === 'fulfilled') t.is(checkExplicitEnd(result.value, STREAM_TOKENS), null);
       else t.regex(String(result.reason), /"verdict":"(not-run|may-have-run)"/);
     }
     t.like(await first.read(), { end: { kind: 'failed' } });
@@ -98,21 +104,21 @@
 // Guards against callers who hang on a frozen daemon, and against one that acts on what it knew
 // before it was frozen.
 test.serial('a stream goes on at the other entry daemon while one is frozen', async (t) => {
-  const options = { model: cluster.model, content: 'memo', targetTokens: LONG };
-  const stream = await openTestStream(buildCaller(cluster, getEntryUrl(0)), options);
+  const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
+  const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   await stream.waitForChunks(20);
   const frozen = cluster.findProcess('entry-1');
   frozen.freeze();
   // What the daemon had sent before it froze is read first; then the caller gives up.
   const { texts, lastEventId = '' } = await stream.waitForChunks(20);
-  stream.leave();
-  const resumed = await openTestStream(buildCaller(cluster), { ...options, lastEventId });
+  stream.close();
+  const resumed = await openTestStream(buildCallerTarget(cluster), { ...options, lastEventId });
   const rest = await resumed.read();
   t.deepEqual(rest.end, { kind: 'done' });
   t.is(checkTokens([...texts, ...rest.texts]), null);
-  t.is(texts.length + rest.texts.length, LONG);
+  t.is(texts.length + rest.texts.length, STREAM_TOKENS);
   frozen.resume();
   const short = { ...options, targetTokens: 10 };
-  const again = await openTestStream(buildCaller(cluster, getEntryUrl(0)), short);
+  const again = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), short);
   t.like(await again.read(), { end: { kind: 'done' } });
 });
--- a/packages/cluster/plan.ts
+++ b/packages/cluster/plan.ts
@@ -44,7 +44,7 @@
 }
 
 /** Number of processes of each kind, from which the next names come. */
-export interface Numbering {
+export interface ProcessCounts {
   readonly engines: number;
   readonly endpoints: number;
 }
@@ -72,13 +72,13 @@
  * Plans an engine and its endpoint daemon.
  *
  * @param spec - model, version, place and start options
- * @param numbering - processes that exist
+ * @param counts - processes that exist
  * @param dataCentres - data centres that are taken in turn
  * @returns the plan
  */
 export const planEngine = (
   spec: EngineSpec,
-  numbering: Numbering,
+  counts: ProcessCounts,
   dataCentres: readonly DataCentreId[],
 ): PlannedEndpoint => {
   const model = spec.model ?? DEFAULT_MODEL;
@@ -86,31 +86,26 @@
   const { fencing = 'checked', ...rest }: EngineStandinOptions = spec.standin ?? {};
   const options = { model, version, fencing, ...rest };
   return {
-    standin: buildStandin(
-      'engine',
-      'engine',
-      `engine-${(numbering.engines + 1).toString()}`,
-      options,
-    ),
-    endpoint: `endpoint-${(numbering.endpoints + 1).toString()}`,
-    dataCentre: spec.dataCentre ?? pickInTurn(dataCentres, numbering.engines),
+    standin: buildStandin('engine', 'engine', `engine-${(counts.engines + 1).toString()}`, options),
+    endpoint: `endpoint-${(counts.endpoints + 1).toString()}`,
+    dataCentre: spec.dataCentre ?? pickRoundRobin(dataCentres, counts.engines),
     target: { kind: 'model', model, version, fencing },
   };
 };
 
-const pickInTurn = (dataCentres: readonly DataCentreId[], index: number): DataCentreId =>
+const pickRoundRobin = (dataCentres: readonly DataCentreId[], index: number): DataCentreId =>
   dataCentres[index % dataCentres.length] ?? DEFAULT_DATA_CENTRES[0];
 
 const planLedger = (
   index: number,
-  endpoints: number,
+  endpointCount: number,
   dataCentres: readonly DataCentreId[],
   service: string,
   options: object,
 ): PlannedEndpoint => ({
   standin: buildStandin('service', 'ledger', `ledger-${(index + 1).toString()}`, options),
-  endpoint: `endpoint-${(endpoints + 1).toString()}`,
-  dataCentre: pickInTurn(dataCentres, index),
+  endpoint: `endpoint-${(endpointCount + 1).toString()}`,
+  dataCentre: pickRoundRobin(dataCentres, index),
   target: { kind: 'service', service, version: DEFAULT_VERSION },
 });
 
@@ -140,7 +135,7 @@
     endpoints: [...engines, ...ledgers],
     entries: buildRange(options.entryDaemons ?? DEFAULT_ENTRY_DAEMONS).map((index) => ({
       name: `entry-${(index + 1).toString()}`,
-      dataCentre: pickInTurn(dataCentres, index),
+      dataCentre: pickRoundRobin(dataCentres, index),
     })),
     dataCentres,
     models: [...new Set(models)],
--- a/packages/cluster/processes/addresses.ts
+++ b/packages/cluster/processes/addresses.ts
@@ -22,7 +22,7 @@
   }
 };
 
-const formatPort = (flag: string, url: string | undefined): readonly string[] =>
+const formatPortFlag = (flag: string, url: string | undefined): readonly string[] =>
   url === undefined ? [] : [flag, new URL(url).port];
 
 /**
@@ -37,12 +37,12 @@
   switch (spec.role) {
     case 'platform':
     case 'engine':
-      return [...spec.argv, ...formatPort('--port', urls[spec.role])];
+      return [...spec.argv, ...formatPortFlag('--port', urls[spec.role])];
     case 'ledger':
       return [
         ...spec.argv,
-        ...formatPort('--port', urls['service']),
-        ...formatPort('--inspection-port', urls['inspection']),
+        ...formatPortFlag('--port', urls['service']),
+        ...formatPortFlag('--inspection-port', urls['inspection']),
       ];
     case 'entry':
     case 'endpoint':
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -9,8 +9,8 @@
   ProcessTable,
   ProcessesEvent,
 } from './types.js';
-import { createListClient } from '../instances/listClient.js';
-import type { ListClient } from '../instances/listClient.js';
+import { createInstanceListClient } from '../instances/listClient.js';
+import type { InstanceListClient } from '../instances/listClient.js';
 import { checkReadiness } from '../instances/readiness.js';
 import { listClusterChildren } from '../supervisor.js';
 import { createWatch } from '../watch.js';
@@ -28,7 +28,7 @@
   readonly start: (specs: readonly ProcessSpec[]) => Promise<readonly ProcessState[]>;
   readonly waitForExit: (name: string) => Promise<ProcessExit>;
   /** Sends SIGTERM, and SIGKILL to what is left after a time. */
-  readonly end: (names: readonly string[], withinMs: Millis) => Promise<void>;
+  readonly stop: (names: readonly string[], withinMs: Millis) => Promise<void>;
   /** Ends the loop, once the instance list has taken all changes. */
   readonly close: () => Promise<void>;
 }
@@ -42,7 +42,7 @@
 
 interface Adapters {
   readonly launcher: Launcher;
-  readonly instances: ListClient;
+  readonly instances: InstanceListClient;
   readonly post: (event: ProcessesEvent) => void;
 }
 
@@ -66,10 +66,10 @@
       return;
     }
     case 'list-instance':
-      instances.list(effect);
+      instances.register(effect);
       return;
     case 'unlist-instance':
-      instances.unlist(effect);
+      instances.deregister(effect);
       return;
     case 'schedule':
       loop.schedule(effect.delayMs, effect.event);
@@ -79,12 +79,17 @@
   }
 };
 
-const isStarted = ({ phase }: ProcessState): boolean => phase === 'ready' || phase === 'exited';
+const isStartFinished = ({ phase }: ProcessState): boolean =>
+  phase === 'ready' || phase === 'exited';
 
 const describeFailedStart = (state: ProcessState, errorOutput: string): string => {
   const { spec, exit, problem } = state;
-  const end = exit?.signal ?? `code ${String(exit?.code)}`;
-  const lines = [`${spec.name} did not start: it ended with ${end}`, problem ?? '', errorOutput];
+  const outcome = exit?.signal ?? `code ${String(exit?.code)}`;
+  const lines = [
+    `${spec.name} did not start: it ended with ${outcome}`,
+    problem ?? '',
+    errorOutput,
+  ];
   return lines.filter((line) => line !== '').join('\n');
 };
 
@@ -102,7 +107,7 @@
   const launcher = createLauncher({ ...options, post });
   const getPlatformUrl = (): string =>
     watch.get().get(options.platformName)?.urls['platform'] ?? '';
-  const instances = createListClient({ getPlatformUrl, post });
+  const instances = createInstanceListClient({ getPlatformUrl, post });
   const adapters = { launcher, instances, post };
   const daemon = createRoutedDaemon<ClusterEvent, ClusterEffect>({
     name: 'cluster',
@@ -114,12 +119,14 @@
   });
   daemon.start();
 
-  const startOne = async (spec: ProcessSpec): Promise<ProcessState> => {
-    const before = watch.get().get(spec.name)?.run ?? 0;
+  const startAndWait = async (spec: ProcessSpec): Promise<ProcessState> => {
+    const previousRun = watch.get().get(spec.name)?.run ?? 0;
     post({ kind: 'start', spec });
     const state = await watch.wait((table) => {
       const found = table.get(spec.name);
-      return found !== undefined && found.run > before && isStarted(found) ? found : undefined;
+      return found !== undefined && found.run > previousRun && isStartFinished(found)
+        ? found
+        : undefined;
     });
     if (state.phase === 'ready') return state;
     throw new Error(describeFailedStart(state, launcher.readErrorOutput(spec.name)));
@@ -128,7 +135,7 @@
   const waitForExit = (name: string): Promise<ProcessExit> =>
     watch.wait((table) => table.get(name)?.exit ?? undefined);
 
-  const end = async (names: readonly string[], withinMs: Millis): Promise<void> => {
+  const stopAll = async (names: readonly string[], withinMs: Millis): Promise<void> => {
     for (const name of names) post({ kind: 'signal', name, signal: 'SIGTERM' });
     const timer = setTimeout(() => {
       for (const name of names) post({ kind: 'signal', name, signal: 'SIGKILL' });
@@ -140,9 +147,9 @@
   return {
     getTable: watch.get,
     post,
-    start: (specs) => Promise.all(specs.map(startOne)),
+    start: (specs) => Promise.all(specs.map(startAndWait)),
     waitForExit,
-    end,
+    stop: stopAll,
     close: async () => {
       await instances.waitUntilIdle();
       daemon.stop();
--- a/packages/cluster/processes/launcher.ts
+++ b/packages/cluster/processes/launcher.ts
@@ -57,10 +57,10 @@
   const { directory, errorOutput, profileDirectory, post } = options;
   const children = new Map<string, ChildProcess>();
 
-  const toErrorFile = (name: string): string => join(directory, `${name}.stderr`);
+  const toStderrPath = (name: string): string => join(directory, `${name}.stderr`);
 
   const startChild = (name: string, argv: readonly string[]): ChildProcess => {
-    const file = errorOutput === 'files' ? openSync(toErrorFile(name), 'a') : undefined;
+    const file = errorOutput === 'files' ? openSync(toStderrPath(name), 'a') : undefined;
     const child = spawn(
       process.execPath,
       [...buildProfileFlags(name, profileDirectory), PROGRAM, ...argv],
@@ -104,7 +104,7 @@
     },
     readErrorOutput: (name) => {
       if (errorOutput === 'inherit') return '';
-      const lines = readFileSync(toErrorFile(name), 'utf8').trimEnd().split('\n');
+      const lines = readFileSync(toStderrPath(name), 'utf8').trimEnd().split('\n');
       return lines.slice(-ERROR_OUTPUT_LINES).join('\n');
     },
   };
--- a/packages/cluster/processes/processesChild.ts
+++ b/packages/cluster/processes/processesChild.ts
@@ -15,7 +15,7 @@
 
 type RunEvent = Extract<ProcessesEvent, { readonly run: number }>;
 
-const update = (
+const updateProcess = (
   table: ProcessTable,
   process: ProcessState,
   changes: Partial<ProcessState>,
@@ -27,9 +27,9 @@
 
 const startProcess = (table: ProcessTable, spec: ProcessSpec): ProcessesStep => {
   const { name } = spec;
-  const known = table.get(name);
-  if (known !== undefined && known.phase !== 'exited') throw new Error(`${name} still runs`);
-  const run = (known?.run ?? 0) + 1;
+  const previous = table.get(name);
+  if (previous !== undefined && previous.phase !== 'exited') throw new Error(`${name} still runs`);
+  const run = (previous?.run ?? 0) + 1;
   const process: ProcessState = {
     spec,
     run,
@@ -39,8 +39,8 @@
     exit: null,
     problem: null,
   };
-  const argv = known === undefined ? spec.argv : buildRestartArgv(spec, known.urls);
-  return update(
+  const argv = previous === undefined ? spec.argv : buildRestartArgv(spec, previous.urls);
+  return updateProcess(
     table,
     process,
     {},
@@ -53,7 +53,7 @@
   );
 };
 
-const listInstance = (process: ProcessState, state: ListedState): readonly ClusterEffect[] => {
+const toListEffects = (process: ProcessState, state: ListedState): readonly ClusterEffect[] => {
   const { spec, run, urls } = process;
   if (spec.kind === 'standin') return [];
   const { name, role, listing } = spec;
@@ -62,7 +62,7 @@
   return [{ kind: 'list-instance', name, run, role, listing, state, rpcUrl, httpUrl }];
 };
 
-const checkReady = ({ spec, run, urls }: ProcessState): readonly ClusterEffect[] =>
+const toReadinessCheckEffects = ({ spec, run, urls }: ProcessState): readonly ClusterEffect[] =>
   spec.kind === 'standin'
     ? []
     : [{ kind: 'check-ready', name: spec.name, run, url: findHttpUrl(spec.role, urls) }];
@@ -76,10 +76,10 @@
   const listening: ProcessState = { ...process, urls, phase: 'listening' };
   switch (process.spec.kind) {
     case 'standin':
-      return update(table, listening, { phase: 'ready' });
+      return updateProcess(table, listening, { phase: 'ready' });
     case 'daemon': {
-      const effects = [...listInstance(listening, 'live'), ...checkReady(listening)];
-      return update(table, listening, {}, ...effects);
+      const effects = [...toListEffects(listening, 'live'), ...toReadinessCheckEffects(listening)];
+      return updateProcess(table, listening, {}, ...effects);
     }
     default:
       return assertNever(process.spec);
@@ -92,10 +92,15 @@
   problem: string | null,
 ): ProcessesStep => {
   if (process.phase !== 'listening') return toStep(table);
-  if (problem === null) return update(table, process, { phase: 'ready', problem });
+  if (problem === null) return updateProcess(table, process, { phase: 'ready', problem });
   const { name } = process.spec;
   const event = { to: 'processes', kind: 'check-due', name, run: process.run } as const;
-  return update(table, process, { problem }, { kind: 'schedule', delayMs: READY_POLL_MS, event });
+  return updateProcess(
+    table,
+    process,
+    { problem },
+    { kind: 'schedule', delayMs: READY_POLL_MS, event },
+  );
 };
 
 const sendSignal = (
@@ -106,23 +111,33 @@
   const { phase, run, spec } = process;
   if (phase === 'exited') return toStep(table);
   const { name } = spec;
-  const send: ClusterEffect = { kind: 'send-signal', name, run, signal };
+  const signalEffect: ClusterEffect = { kind: 'send-signal', name, run, signal };
   switch (signal) {
     case 'SIGSTOP':
-      return update(table, process, { phase: phase === 'ready' ? 'frozen' : phase }, send);
+      return updateProcess(
+        table,
+        process,
+        { phase: phase === 'ready' ? 'frozen' : phase },
+        signalEffect,
+      );
     case 'SIGCONT':
-      return update(table, process, { phase: phase === 'frozen' ? 'ready' : phase }, send);
+      return updateProcess(
+        table,
+        process,
+        { phase: phase === 'frozen' ? 'ready' : phase },
+        signalEffect,
+      );
     case 'SIGKILL':
-      return update(table, process, { phase: 'stopping' }, send);
+      return updateProcess(table, process, { phase: 'stopping' }, signalEffect);
     case 'SIGTERM':
     case 'SIGINT':
       // A stopped process handles no signal before it continues.
-      return update(
+      return updateProcess(
         table,
         process,
         { phase: 'stopping' },
-        ...(phase === 'frozen' ? [{ ...send, signal: 'SIGCONT' } as const] : []),
-        send,
+        ...(phase === 'frozen' ? [{ ...signalEffect, signal: 'SIGCONT' } as const] : []),
+        signalEffect,
       );
     default:
       return assertNever(signal);
@@ -137,7 +152,7 @@
 ): ProcessesStep =>
   process.phase === 'listening'
     ? sendSignal(table, { ...process, problem }, 'SIGKILL')
-    : update(table, process, { problem });
+    : updateProcess(table, process, { problem });
 
 const handleExited = (
   table: ProcessTable,
@@ -145,11 +160,11 @@
   exit: ProcessState['exit'],
 ): ProcessesStep => {
   const { spec, run } = process;
-  const unlist: readonly ClusterEffect[] =
+  const unlistEffects: readonly ClusterEffect[] =
     spec.kind === 'standin'
       ? []
       : [{ kind: 'unlist-instance', name: spec.name, run, id: spec.listing.id }];
-  return update(table, process, { phase: 'exited', exit }, ...unlist);
+  return updateProcess(table, process, { phase: 'exited', exit }, ...unlistEffects);
 };
 
 const handleRunEvent = (
@@ -159,12 +174,12 @@
 ): ProcessesStep => {
   switch (event.kind) {
     case 'spawned':
-      return update(table, process, { pid: event.pid });
+      return updateProcess(table, process, { pid: event.pid });
     case 'addresses-printed':
       return handleAddresses(table, process, event.urls);
     case 'check-due':
       return process.phase === 'listening'
-        ? toStep<ProcessTable, ClusterEffect>(table, ...checkReady(process))
+        ? toStep<ProcessTable, ClusterEffect>(table, ...toReadinessCheckEffects(process))
         : toStep(table);
     case 'checked':
       return handleChecked(table, process, event.problem);
@@ -185,7 +200,7 @@
   }
 };
 
-const findNamed = (table: ProcessTable, name: string): ProcessState => {
+const getProcess = (table: ProcessTable, name: string): ProcessState => {
   const process = table.get(name);
   if (process === undefined) throw new Error(`no process is called ${name}`);
   return process;
@@ -203,11 +218,11 @@
     case 'start':
       return startProcess(table, event.spec);
     case 'signal':
-      return sendSignal(table, findNamed(table, event.name), event.signal);
+      return sendSignal(table, getProcess(table, event.name), event.signal);
     case 'leave':
       return toStep<ProcessTable, ClusterEffect>(
         table,
-        ...listInstance(findNamed(table, event.name), 'leaving'),
+        ...toListEffects(getProcess(table, event.name), 'leaving'),
       );
     case 'spawned':
     case 'addresses-printed':
@@ -217,7 +232,7 @@
     case 'listed':
     case 'list-failed':
     case 'exited': {
-      const process = findNamed(table, event.name);
+      const process = getProcess(table, event.name);
       return process.run === event.run ? handleRunEvent(table, process, event) : toStep(table);
     }
     default:
--- a/packages/cluster/processes/types.ts
+++ b/packages/cluster/processes/types.ts
@@ -61,7 +61,7 @@
 /** Processes by name, in start order. */
 export type ProcessTable = ReadonlyMap<string, ProcessState>;
 
-interface OfRun {
+interface RunRef {
   readonly name: string;
   readonly run: number;
 }
@@ -70,21 +70,21 @@
   | { readonly kind: 'start'; readonly spec: ProcessSpec }
   | { readonly kind: 'signal'; readonly name: string; readonly signal: ProcessSignal }
   | { readonly kind: 'leave'; readonly name: string }
-  | ({ readonly kind: 'spawned'; readonly pid: number } & OfRun)
-  | ({ readonly kind: 'addresses-printed'; readonly urls: Urls } & OfRun)
-  | ({ readonly kind: 'check-due' } & OfRun)
-  | ({ readonly kind: 'checked'; readonly problem: string | null } & OfRun)
-  | ({ readonly kind: 'start-overdue' } & OfRun)
-  | ({ readonly kind: 'listed'; readonly state: ListedState } & OfRun)
-  | ({ readonly kind: 'list-failed'; readonly problem: string } & OfRun)
-  | ({ readonly kind: 'exited'; readonly exit: ProcessExit } & OfRun);
+  | ({ readonly kind: 'spawned'; readonly pid: number } & RunRef)
+  | ({ readonly kind: 'addresses-printed'; readonly urls: Urls } & RunRef)
+  | ({ readonly kind: 'check-due' } & RunRef)
+  | ({ readonly kind: 'checked'; readonly problem: string | null } & RunRef)
+  | ({ readonly kind: 'start-overdue' } & RunRef)
+  | ({ readonly kind: 'listed'; readonly state: ListedState } & RunRef)
+  | ({ readonly kind: 'list-failed'; readonly problem: string } & RunRef)
+  | ({ readonly kind: 'exited'; readonly exit: ProcessExit } & RunRef);
 
 export type ClusterEvent = { readonly to: 'processes' } & ProcessesEvent;
 
 export type ClusterEffect =
-  | ({ readonly kind: 'spawn'; readonly argv: readonly string[] } & OfRun)
-  | ({ readonly kind: 'send-signal'; readonly signal: ProcessSignal } & OfRun)
-  | ({ readonly kind: 'check-ready'; readonly url: string } & OfRun)
+  | ({ readonly kind: 'spawn'; readonly argv: readonly string[] } & RunRef)
+  | ({ readonly kind: 'send-signal'; readonly signal: ProcessSignal } & RunRef)
+  | ({ readonly kind: 'check-ready'; readonly url: string } & RunRef)
   | ({
       readonly kind: 'list-instance';
       readonly role: 'entry' | 'endpoint';
@@ -92,8 +92,8 @@
       readonly state: ListedState;
       readonly rpcUrl: string;
       readonly httpUrl: string;
-    } & OfRun)
-  | ({ readonly kind: 'unlist-instance'; readonly id: InstanceId } & OfRun)
+    } & RunRef)
+  | ({ readonly kind: 'unlist-instance'; readonly id: InstanceId } & RunRef)
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: ClusterEvent };
 
 export type ProcessesStep = Step<ProcessTable, ClusterEffect>;
--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -4,7 +4,12 @@
 import { hashKey } from './keys.js';
 import type { EndpointTarget, PlannedEndpoint, PlannedEntry } from './plan.js';
 import type { Listing, ProcessSpec, Urls } from './processes/types.js';
-import type { ClusterOptions, CustomerSpec, EndpointFile, EntryFile } from './types.js';
+import type {
+  ClusterOptions,
+  CustomerSpec,
+  EndpointSettingsInput,
+  EntrySettingsInput,
+} from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { ModelName } from '../core/ids.js';
 
@@ -24,25 +29,25 @@
   readonly options: ClusterOptions;
 }
 
-const FREE_PORT = { host: '127.0.0.1', port: 0 } as const;
+const FREE_LOOPBACK_PORT = { host: '127.0.0.1', port: 0 } as const;
 
-const LEDGER_ROUTES: NonNullable<EntryFile['services']>[number]['routes'] = [
+const LEDGER_ROUTES: NonNullable<EntrySettingsInput['services']>[number]['routes'] = [
   { method: 'GET', path: '/balances/{account}', repeat: 'allowed' },
   { method: 'POST', path: '/sweeps', repeat: 'never' },
   { method: 'POST', path: '/pickups', repeat: 'never' },
   { method: 'POST', path: '/credits', repeat: 'never' },
 ];
 
-const toInstance = (name: string): string => `instance-${name}`;
+const toInstanceId = (name: string): string => `instance-${name}`;
 
-const buildEntryFile = (entry: PlannedEntry, context: SettingsContext): EntryFile => {
+const buildEntrySettings = (entry: PlannedEntry, context: SettingsContext): EntrySettingsInput => {
   const { platformUrl, keys, models, options } = context;
   return {
     process: entry.name,
-    instance: toInstance(entry.name),
+    instance: toInstanceId(entry.name),
     dataCentre: entry.dataCentre,
-    callers: FREE_PORT,
-    rpc: FREE_PORT,
+    callers: FREE_LOOPBACK_PORT,
+    rpc: FREE_LOOPBACK_PORT,
     platform: { logUrl: platformUrl, listUrl: platformUrl, weightsUrl: platformUrl },
     ticketKey: keys.ticketKey,
     customers: keys.customers.map(({ key, ...customer }) => ({
@@ -60,7 +65,7 @@
   };
 };
 
-const buildTarget = (target: EndpointTarget, urls: Urls): EndpointFile['target'] => {
+const buildTarget = (target: EndpointTarget, urls: Urls): EndpointSettingsInput['target'] => {
   switch (target.kind) {
     case 'model':
       return { ...target, engineUrl: urls['engine'] ?? '' };
@@ -71,17 +76,17 @@
   }
 };
 
-const buildEndpointFile = (
+const buildEndpointSettings = (
   planned: PlannedEndpoint,
   standinUrls: Urls,
   context: SettingsContext,
-): EndpointFile => ({
+): EndpointSettingsInput => ({
   process: planned.endpoint,
-  instance: toInstance(planned.endpoint),
+  instance: toInstanceId(planned.endpoint),
   endpoint: planned.endpoint,
   dataCentre: planned.dataCentre,
-  http: FREE_PORT,
-  rpc: FREE_PORT,
+  http: FREE_LOOPBACK_PORT,
+  rpc: FREE_LOOPBACK_PORT,
   platform: { listUrl: context.platformUrl },
   target: buildTarget(planned.target, standinUrls),
   ...(context.options.admission === undefined ? {} : { admission: context.options.admission }),
@@ -89,7 +94,7 @@
   log: { format: context.options.logFormat ?? 'json' },
 });
 
-const toListedTarget = (target: EndpointTarget): Partial<Listing> => {
+const toTargetListing = (target: EndpointTarget): Partial<Listing> => {
   const { version } = target;
   switch (target.kind) {
     case 'model':
@@ -122,14 +127,14 @@
  * @param context - what all daemons share
  * @returns the process that runs with the file
  */
-export const writeEntry = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
-  const file = writeSettings(context.directory, entry.name, buildEntryFile(entry, context));
+export const writeEntrySettings = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
+  const file = writeSettings(context.directory, entry.name, buildEntrySettings(entry, context));
   return {
     kind: 'daemon',
     role: 'entry',
     name: entry.name,
     argv: toRunArguments('entry', file),
-    listing: { id: toInstance(entry.name), dataCentre: entry.dataCentre },
+    listing: { id: toInstanceId(entry.name), dataCentre: entry.dataCentre },
   };
 };
 
@@ -141,19 +146,19 @@
  * @param context - what all daemons share
  * @returns the process that runs with the file
  */
-export const writeEndpoint = (
+export const writeEndpointSettings = (
   planned: PlannedEndpoint,
   standinUrls: Urls,
   context: SettingsContext,
 ): ProcessSpec => {
   const { endpoint: name, dataCentre, target } = planned;
-  const content = buildEndpointFile(planned, standinUrls, context);
+  const content = buildEndpointSettings(planned, standinUrls, context);
   const file = writeSettings(context.directory, name, content);
   return {
     kind: 'daemon',
     role: 'endpoint',
     name,
     argv: toRunArguments('endpoint', file),
-    listing: { id: toInstance(name), dataCentre, ...toListedTarget(target) },
+    listing: { id: toInstanceId(name), dataCentre, ...toTargetListing(target) },
   };
 };
--- a/packages/cluster/startCluster.ts
+++ b/packages/cluster/startCluster.ts
@@ -8,7 +8,7 @@
 import type { ClusterPlan } from './plan.js';
 import { createProcessControl } from './processes/control.js';
 import type { ProcessControl } from './processes/control.js';
-import { writeEndpoint, writeEntry } from './settingsFiles.js';
+import { writeEndpointSettings, writeEntrySettings } from './settingsFiles.js';
 import type { ClusterKeys, SettingsContext } from './settingsFiles.js';
 import type { Cluster, ClusterOptions, CustomerSpec } from './types.js';
 
@@ -26,16 +26,16 @@
 };
 
 /** Starts the stand-ins, then all daemons together: they are ready once they have found each other. */
-const startRest = async (
+const startStandinsAndDaemons = async (
   control: ProcessControl,
   plan: ClusterPlan,
   context: SettingsContext,
 ): Promise<void> => {
   const standins = await control.start(plan.endpoints.map(({ standin }) => standin));
   const endpoints = plan.endpoints.map((planned, index) =>
-    writeEndpoint(planned, standins[index]?.urls ?? {}, context),
+    writeEndpointSettings(planned, standins[index]?.urls ?? {}, context),
   );
-  const entries = plan.entries.map((entry) => writeEntry(entry, context));
+  const entries = plan.entries.map((entry) => writeEntrySettings(entry, context));
   await control.start([...endpoints, ...entries]);
 };
 
@@ -63,7 +63,7 @@
   const balancer = await startBalancer({ port: options.port ?? 0, listTargets });
   try {
     const context = { ...shared, platformUrl: await startPlatform(control, plan) };
-    await startRest(control, plan, context);
+    await startStandinsAndDaemons(control, plan, context);
     return createCluster({ plan, context, control, balancer });
   } catch (error) {
     await balancer.close();
--- a/packages/cluster/testing.ts
+++ b/packages/cluster/testing.ts
@@ -10,7 +10,7 @@
 export type OpenedStream = Extract<StreamAnswer, { readonly kind: 'stream' }>;
 
 /** Pause between two looks at a page whose change a test waits for. */
-const LOOK_MS = 20;
+const POLL_INTERVAL_MS = 20;
 
 /**
  * Builds the target of a test's caller.
@@ -19,7 +19,7 @@
  * @param baseUrl - address of one entry daemon; the balancer when not given
  * @returns address and key of the first customer
  */
-export const buildCaller = (cluster: Cluster, baseUrl?: string): CallerTarget => ({
+export const buildCallerTarget = (cluster: Cluster, baseUrl?: string): CallerTarget => ({
   baseUrl: baseUrl ?? cluster.baseUrl,
   key: Object.values(cluster.customerKeys)[0] ?? '',
 });
@@ -44,29 +44,31 @@
  * Checks that chunks are the tokens of one generation of the engine stand-in, each once, in order.
  *
  * @param texts - chunks in order of arrival
- * @param first - number of the first token
+ * @param firstNumber - number of the first token
  * @returns null, or the first wrong token
  */
-export const checkTokens = (texts: readonly string[], first = 0): string | null => {
+export const checkTokens = (texts: readonly string[], firstNumber = 0): string | null => {
   const words = texts.join('').trim().split(' ');
-  const wrong = words.findIndex((word, index) =>
-    index + first === 0 ? !/^g\w+$/.test(word) : word !== `w${(index + first).toString()}`,
+  const wrongIndex = words.findIndex((word, index) =>
+    index + firstNumber === 0
+      ? !/^g\w+$/.test(word)
+      : word !== `w${(index + firstNumber).toString()}`,
   );
-  if (wrong < 0) return null;
-  return `token ${(wrong + first).toString()} is ${words[wrong] ?? ''} after ${words.slice(0, wrong).slice(-3).join(' ')}`;
+  if (wrongIndex < 0) return null;
+  return `token ${(wrongIndex + firstNumber).toString()} is ${words[wrongIndex] ?? ''} after ${words.slice(0, wrongIndex).slice(-3).join(' ')}`;
 };
 
 /**
  * Waits for a condition of a page by looking at it again and again. The test's timeout bounds it.
  *
- * @param look - looks once; undefined means not yet
+ * @param poll - looks once; undefined means not yet
  * @returns what the look found
  */
-export const waitUntil = async <Value>(look: () => Promise<Value | undefined>): Promise<Value> => {
+export const waitUntil = async <Value>(poll: () => Promise<Value | undefined>): Promise<Value> => {
   for (;;) {
-    const value = await look();
+    const value = await poll();
     if (value !== undefined) return value;
-    await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+    await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
   }
 };
 
@@ -80,17 +82,17 @@
  *
  * @param url - address of its pages
  * @param name - event
- * @param isWanted - further condition
+ * @param isMatch - further condition
  * @returns the event
  */
-export const waitForLogged = (
+export const waitForLogEvent = (
   url: string,
   name: EventName,
-  isWanted: (event: LoggedEvent) => boolean = () => true,
+  isMatch: (event: LoggedEvent) => boolean = () => true,
 ): Promise<LoggedEvent> =>
   waitUntil(async () => {
     const page = (await fetchJson(`${url}/debug/events`)) as { events: readonly LoggedEvent[] };
-    return page.events.find((event) => event.name === name && isWanted(event));
+    return page.events.find((event) => event.name === name && isMatch(event));
   });
 
 /** Counters of a stand-in's inspection page. */
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -7,9 +7,9 @@
 import type { EngineSettings } from '../standins/engine/types.js';
 import type { PlatformOptions } from '../standins/platform/types.js';
 
-export type EntryFile = z.input<typeof ENTRY_SCHEMA>;
+export type EntrySettingsInput = z.input<typeof ENTRY_SCHEMA>;
 
-export type EndpointFile = z.input<typeof ENDPOINT_SCHEMA>;
+export type EndpointSettingsInput = z.input<typeof ENDPOINT_SCHEMA>;
 
 /** Start options of an engine stand-in that its command has flags for. */
 export type EngineStandinOptions = Partial<
@@ -53,12 +53,12 @@
   readonly ledgers?: number;
   readonly ledgerCallMs?: Millis;
   /** Bounds of the endpoint daemons' admission limit. */
-  readonly admission?: EndpointFile['admission'];
+  readonly admission?: EndpointSettingsInput['admission'];
   /** Name of the plain service; `ledger` when absent. */
   readonly serviceName?: string;
   readonly customers?: readonly CustomerSpec[];
-  readonly policy?: EntryFile['policy'];
-  readonly limits?: EntryFile['limits'];
+  readonly policy?: EntrySettingsInput['policy'];
+  readonly limits?: EntrySettingsInput['limits'];
   readonly platform?: Pick<PlatformOptions, 'appendsPerSecond' | 'retentionRecords' | 'listLagMs'>;
   readonly drainMs?: Millis;
   /** Receiver of the notifications for operators. */
@@ -105,7 +105,7 @@
 }
 
 /** An engine and the daemon beside it. */
-export interface EnginePair {
+export interface EngineWithEndpoint {
   readonly engine: ClusterProcess;
   readonly endpoint: ClusterProcess;
 }
@@ -130,9 +130,9 @@
   readonly processes: readonly ClusterProcess[];
   /** Finds a process by its name; throws when there is none. */
   readonly findProcess: (name: string) => ClusterProcess;
-  readonly addEngine: (spec: EngineSpec) => Promise<EnginePair>;
+  readonly addEngine: (spec: EngineSpec) => Promise<EngineWithEndpoint>;
   /** Marks a daemon as leaving in the instance list, then sends SIGTERM. */
-  readonly leave: (name: string) => Promise<ProcessExit>;
+  readonly drainDaemon: (name: string) => Promise<ProcessExit>;
   /** Ends all processes in reverse start order and removes the directory. */
   readonly stop: () => Promise<void>;
 }
--- a/packages/cluster/watch.ts
+++ b/packages/cluster/watch.ts
@@ -13,27 +13,27 @@
  * @returns a watch without a state
  */
 export const createWatch = <State>(): Watch<State> => {
-  let newest: { readonly state: State } | undefined;
-  const waiting = new Set<(state: State) => void>();
+  let latest: { readonly state: State } | undefined;
+  const pendingChecks = new Set<(state: State) => void>();
   return {
     publish: (state) => {
-      newest = { state };
-      for (const check of [...waiting]) check(state);
+      latest = { state };
+      for (const check of [...pendingChecks]) check(state);
     },
     get: () => {
-      if (newest === undefined) throw new Error('the loop has not started');
-      return newest.state;
+      if (latest === undefined) throw new Error('the loop has not started');
+      return latest.state;
     },
     wait: <Value>(find: (state: State) => Value | undefined) =>
       new Promise<Value>((resolve) => {
         const check = (state: State): void => {
           const value = find(state);
           if (value === undefined) return;
-          waiting.delete(check);
+          pendingChecks.delete(check);
           resolve(value);
         };
-        waiting.add(check);
-        if (newest !== undefined) check(newest.state);
+        pendingChecks.add(check);
+        if (latest !== undefined) check(latest.state);
       }),
   };
 };
