Reword the texts of the cluster's processes, instance list and balancer

'its readiness page agreed', 'what it says', 'orders over the loop', 'in turn' and 'passed over' are now readiness checks that answer 200, the result of a request, control on top of the event loop, round-robin and skipped. The phases of a process say how daemons and stand-ins differ. The error of a failed change of the instance list no longer claims that the list refused it: the request itself may have failed.

--- a/packages/cluster/balancer/balancer.test.ts
+++ b/packages/cluster/balancer/balancer.test.ts
@@ -15,8 +15,8 @@
 const fetchName = async (url: string): Promise<string> =>
   (await fetch(url, { headers: { connection: 'close' } })).text();
 
-// Guards against callers who are sent to a dead entry daemon, or all to one.
-test('connections go to the targets in turn and pass over one that refuses', async (t) => {
+// Guards against connections to a dead entry daemon, and against all connections to a single one.
+test('connections are distributed round-robin and skip a target that refuses them', async (t) => {
   const [first, second] = [await startTarget('first'), await startTarget('second')];
   const urls = [first.url, 'http://127.0.0.1:1', second.url];
   const balancer = await startBalancer({ port: 0, listTargets: () => urls });
@@ -33,7 +33,7 @@
   t.deepEqual(names, ['first', 'second', 'second']);
 });
 
-// Guards against a caller who waits for ever when no entry daemon is left.
+// Guards against a caller that waits forever when no entry daemon is left.
 test('a connection is closed when there is no target', async (t) => {
   const balancer = await startBalancer({ port: 0, listTargets: () => [] });
   t.teardown(balancer.close);
--- a/packages/cluster/balancer/balancer.ts
+++ b/packages/cluster/balancer/balancer.ts
@@ -1,20 +1,20 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 
-/** Stand-in of the platform's balancer: it forwards TCP connections and reads nothing of them. */
+/** Stand-in for the platform's load balancer: it forwards TCP connections without parsing them. */
 export interface Balancer {
   readonly url: string;
   readonly close: () => Promise<void>;
 }
 
 export interface BalancerOptions {
-  /** Port on 127.0.0.1; 0 takes a free one. */
+  /** Port on 127.0.0.1; 0 selects a free port. */
   readonly port: number;
-  /** Addresses that take new connections now. */
+  /** Lists the addresses that currently accept connections. */
   readonly listTargets: () => readonly string[];
 }
 
-/** Joins two connections; the end of one half goes through, and an error ends both. */
+/** Pipes two connections into each other; a half-close is passed on, and an error closes both. */
 const connectSockets = (caller: Socket, target: Socket): void => {
   caller.pipe(target);
   target.pipe(caller);
@@ -25,11 +25,12 @@
 };
 
 /**
- * Starts the balancer. Connections go to the targets in turn; one that refuses the connection is
- * passed over.
+ * Starts the balancer. It distributes connections round-robin and skips targets that refuse a
+ * connection.
  *
  * @param options - port and targets
  * @returns the running balancer
+ * @throws Error when the port cannot be opened
  */
 export const startBalancer = async ({ port, listTargets }: BalancerOptions): Promise<Balancer> => {
   const callers = new Set<Socket>();
@@ -38,7 +39,7 @@
   const forward = (caller: Socket, targets: readonly string[]): void => {
     const [first, ...rest] = targets;
     if (first === undefined) {
-      // A plain close would look like an idle connection's end, after which clients connect again.
+      // Resets the connection: clients take a plain close for an idle timeout and reconnect.
       caller.resetAndDestroy();
       return;
     }
@@ -57,7 +58,7 @@
   const server = createServer({ allowHalfOpen: true }, (caller) => {
     callers.add(caller);
     caller.once('close', () => callers.delete(caller));
-    // A caller may reset its connection before a target took it.
+    // A caller may reset its connection before it is connected to a target.
     caller.on('error', () => undefined);
     const targets = listTargets();
     const start = targets.length === 0 ? 0 : nextIndex % targets.length;
--- a/packages/cluster/instances/listClient.ts
+++ b/packages/cluster/instances/listClient.ts
@@ -2,11 +2,11 @@
 import { REQUEST_TIMEOUT_MS } from '../constants.js';
 import type { ClusterEffect, ProcessesEvent } from '../processes/types.js';
 
-/** The platform's own side of the instance list. */
+/** Client that changes the platform's instance list, as the platform itself does in production. */
 export interface InstanceListClient {
   readonly register: (effect: Extract<ClusterEffect, { kind: 'list-instance' }>) => void;
   readonly deregister: (effect: Extract<ClusterEffect, { kind: 'unlist-instance' }>) => void;
-  /** Resolves when all changes so far were answered. */
+  /** Resolves when all changes so far have been answered. */
   readonly waitUntilIdle: () => Promise<void>;
 }
 
@@ -16,10 +16,10 @@
 }
 
 /**
- * Creates the client. Changes are sent one after the other, so that the removal of an ended process
+ * Creates the client. It sends one change at a time, so that the removal of an exited process
  * cannot overtake its registration.
  *
- * @param options - address of the platform stand-in, and where events go
+ * @param options - address of the platform stand-in, and receiver of events
  * @returns the client
  */
 export const createInstanceListClient = ({
@@ -42,7 +42,7 @@
 
   const performChange = (name: string, run: number, change: () => Promise<void>): Promise<void> =>
     change().catch((error: unknown) => {
-      const problem = `the instance list did not take a change: ${String(error)}`;
+      const problem = `a change of the instance list failed: ${String(error)}`;
       post({ kind: 'list-failed', name, run, problem });
     });
 
--- a/packages/cluster/instances/readiness.ts
+++ b/packages/cluster/instances/readiness.ts
@@ -2,10 +2,10 @@
 import { REQUEST_TIMEOUT_MS } from '../constants.js';
 
 /**
- * Asks a daemon's readiness page.
+ * Requests a daemon's readiness page.
  *
  * @param url - address of the daemon's pages
- * @returns null when it is ready, else what it says or why it does not answer
+ * @returns null when the daemon is ready, otherwise the body of the page or the request's error
  */
 export const checkReadiness = async (url: string): Promise<string | null> => {
   try {
--- a/packages/cluster/processes/addresses.ts
+++ b/packages/cluster/processes/addresses.ts
@@ -2,11 +2,11 @@
 import { assertNever } from '../../core/assertNever.js';
 
 /**
- * Finds the address of a daemon's health and inspection pages.
+ * Returns the address of a daemon's health and inspection pages.
  *
- * @param role - which daemon
- * @param urls - addresses that it printed
- * @returns the address, or an empty text when it printed none
+ * @param role - role of the daemon
+ * @param urls - addresses that the daemon printed
+ * @returns the address, or an empty string when the daemon did not print it
  */
 export const findHttpUrl = (
   role: Extract<ProcessRole, 'entry' | 'endpoint'>,
@@ -26,12 +26,12 @@
   url === undefined ? [] : [flag, new URL(url).port];
 
 /**
- * Builds the arguments of a later start. A stand-in keeps its ports, because settings name them; a
- * daemon takes free ports, as a replaced instance has a new address.
+ * Builds the arguments of a restart. A stand-in keeps its ports, because settings files contain
+ * them; a daemon selects free ports, as a replaced instance has a new address.
  *
- * @param spec - process
- * @param urls - addresses of its last run
- * @returns the arguments
+ * @param spec - specification of the process
+ * @param urls - addresses of its previous run
+ * @returns the command-line arguments
  */
 export const buildRestartArgv = (spec: ProcessSpec, urls: Urls): readonly string[] => {
   switch (spec.role) {
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -20,16 +20,20 @@
 import type { Loop } from '../../core/loop/types.js';
 import { createRoutedDaemon } from '../../standins/common/routedDaemon.js';
 
-/** Orders to the processes of a cluster, as promises over the loop. */
+/** Promise-based control of the processes of a cluster, on top of its event loop. */
 export interface ProcessControl {
   readonly getTable: () => ProcessTable;
   readonly post: (event: ProcessesEvent) => void;
-  /** Starts processes together; resolves when all are ready, rejects when one is not. */
+  /** Starts processes together; resolves when all are ready, rejects when one fails to start. */
   readonly start: (specs: readonly ProcessSpec[]) => Promise<readonly ProcessState[]>;
+  /** Resolves when the process has exited. */
   readonly waitForExit: (name: string) => Promise<ProcessExit>;
-  /** Sends SIGTERM, and SIGKILL to what is left after a time. */
+  /**
+   * Sends SIGTERM to processes, and after `withinMs` SIGKILL to those that are still running.
+   * Resolves when all have exited.
+   */
   readonly stop: (names: readonly string[], withinMs: Millis) => Promise<void>;
-  /** Ends the loop, once the instance list has taken all changes. */
+  /** Stops the loop after the instance list has answered all changes. */
   readonly close: () => Promise<void>;
 }
 
@@ -37,6 +41,7 @@
   readonly directory: string;
   readonly errorOutput: 'files' | 'inherit';
   readonly profileDirectory?: string | undefined;
+  /** Process name of the platform stand-in. */
   readonly platformName: string;
 }
 
@@ -94,10 +99,10 @@
 };
 
 /**
- * Creates the loop that owns the processes of a cluster, with its adapters.
+ * Creates and starts the loop that owns the processes of a cluster, with its adapters.
  *
- * @param options - directory, error output and the name of the platform stand-in
- * @returns the running loop
+ * @param options - directories, destination of stderr and name of the platform stand-in
+ * @returns control of the processes
  */
 export const createProcessControl = (options: ProcessControlOptions): ProcessControl => {
   const watch = createWatch<ProcessTable>();
--- a/packages/cluster/processes/launcher.ts
+++ b/packages/cluster/processes/launcher.ts
@@ -8,18 +8,18 @@
 import type { ClusterEffect, ProcessSignal, ProcessesEvent } from './types.js';
 import { ERROR_OUTPUT_LINES } from '../constants.js';
 
-/** Starts and signals the processes of one cluster, and no others. */
+/** Spawns the processes of a cluster and sends signals to them, never to other processes. */
 export interface Launcher {
   readonly spawn: (effect: Extract<ClusterEffect, { kind: 'spawn' }>) => void;
   readonly sendSignal: (name: string, signal: ProcessSignal) => void;
-  /** Reads the end of a process's error output; empty when it is inherited. */
+  /** Reads the last lines of a process's stderr; empty when stderr is inherited. */
   readonly readErrorOutput: (name: string) => string;
 }
 
 export interface LauncherOptions {
   readonly directory: string;
   readonly errorOutput: 'files' | 'inherit';
-  /** Directory for processor profiles; none are written when it is absent. */
+  /** Directory for CPU profiles; none are written when it is absent. */
   readonly profileDirectory?: string | undefined;
   readonly post: (event: ProcessesEvent) => void;
 }
@@ -32,7 +32,7 @@
     : [
         '--cpu-prof',
         `--cpu-prof-dir=${directory}`,
-        // Profiles of later runs of a process get a name of their own.
+        // The time keeps a restarted process from overwriting the profile of its previous run.
         `--cpu-prof-name=${name}-${Date.now().toString()}.cpuprofile`,
       ];
 
@@ -42,7 +42,7 @@
   try {
     return SERVING_SCHEMA.safeParse(JSON.parse(line)).data?.urls;
   } catch {
-    // A line that is no JSON is not the line with the addresses.
+    // Lines other than the JSON line with the addresses are ignored.
     return undefined;
   }
 };
@@ -50,7 +50,7 @@
 /**
  * Creates the adapter that owns the child processes.
  *
- * @param options - directory of the error output, and where events go
+ * @param options - directories, destination of stderr and receiver of events
  * @returns the launcher
  */
 export const createLauncher = (options: LauncherOptions): Launcher => {
@@ -66,9 +66,9 @@
       [...buildProfileFlags(name, profileDirectory), PROGRAM, ...argv],
       {
         env: { ...process.env, NODE_ENV: 'production' },
-        // A signal of the terminal must not reach the processes before the cluster stops them in order.
+        // Detached, so that signals of the terminal do not stop processes out of order.
         detached: true,
-        // The pipe to the standard input closes when this process dies, and the child then stops.
+        // The stdin pipe closes when this process dies; `--stop-with-input` then stops the child.
         stdio: ['pipe', 'pipe', file ?? 'inherit'],
       },
     );
--- a/packages/cluster/processes/processesChild.test.ts
+++ b/packages/cluster/processes/processesChild.test.ts
@@ -42,8 +42,8 @@
   exit: { code: 0, signal: null },
 };
 
-// Guards against a daemon that gets traffic before it is ready, or stays listed after its end.
-test('a daemon is listed when it serves, ready when its page agrees, and unlisted at its end', (t) => {
+// Guards against a daemon that gets traffic before it is ready, or stays listed after its exit.
+test('a daemon is listed once it listens, ready after a check, and unlisted when it exits', (t) => {
   const { state, effects } = applyAll(READY);
   t.deepEqual(listKinds(effects), ['spawn', 'list-instance', 'check-ready']);
   t.like(effects[1], { state: 'live', rpcUrl: URLS.rpc, httpUrl: URLS.callers });
@@ -53,14 +53,14 @@
   t.is(ended.state.get('entry-1')?.phase, 'exited');
 });
 
-// Guards against a late event of an ended run that marks its successor as ended.
+// Guards against a late event of an exited run that marks the next run as exited.
 test('events of an earlier run are ignored', (t) => {
   const restarted = applyAll([...READY, EXITED, { kind: 'start', spec: ENTRY }, EXITED]);
   t.like(restarted.state.get('entry-1'), { run: 2, phase: 'starting', exit: null });
 });
 
-// Guards against a frozen process that never handles the signal to stop.
-test('a frozen process continues before it is told to stop', (t) => {
+// Guards against a frozen process that never handles SIGTERM.
+test('a frozen process is sent SIGCONT before SIGTERM', (t) => {
   const { effects } = applyAll([
     ...READY,
     { kind: 'signal', name: 'entry-1', signal: 'SIGSTOP' },
@@ -69,8 +69,8 @@
   t.deepEqual(listKinds(effects).slice(3), ['SIGSTOP', 'SIGCONT', 'SIGTERM']);
 });
 
-// Guards against a daemon that ends before the list shows that it leaves.
-test('a leaving daemon gets SIGTERM only after the list has taken its state', (t) => {
+// Guards against a daemon that exits before the instance list shows that it is leaving.
+test('a leaving daemon gets SIGTERM only after the list has stored its state', (t) => {
   const leaving = applyAll([...READY, { kind: 'leave', name: 'entry-1' }]);
   t.like(leaving.effects[3], { kind: 'list-instance', state: 'leaving' });
   t.is(leaving.effects.length, 4);
@@ -81,8 +81,8 @@
   t.deepEqual(listKinds(listed.effects), ['SIGTERM']);
 });
 
-// Guards against a start that hangs without a reason.
-test('a start that the list refuses or that takes too long ends with its problem', (t) => {
+// Guards against a start that hangs without an error message.
+test('a start that the list refuses or that times out fails with its problem', (t) => {
   const listening = READY.slice(0, 3);
   const failures: readonly ProcessesEvent[] = [
     { kind: 'list-failed', name: 'entry-1', run: 1, problem: 'refused' },
@@ -95,7 +95,7 @@
   }
 });
 
-// Guards against settings that name a dead port after a stand-in was restarted.
+// Guards against settings files that contain an outdated port after a stand-in was restarted.
 test('a restarted stand-in keeps its port', (t) => {
   const { effects } = applyAll([
     { kind: 'start', spec: ENGINE },
--- a/packages/cluster/processes/processesChild.ts
+++ b/packages/cluster/processes/processesChild.ts
@@ -28,7 +28,8 @@
 const startProcess = (table: ProcessTable, spec: ProcessSpec): ProcessesStep => {
   const { name } = spec;
   const previous = table.get(name);
-  if (previous !== undefined && previous.phase !== 'exited') throw new Error(`${name} still runs`);
+  if (previous !== undefined && previous.phase !== 'exited')
+    throw new Error(`${name} is still running`);
   const run = (previous?.run ?? 0) + 1;
   const process: ProcessState = {
     spec,
@@ -131,7 +132,7 @@
       return updateProcess(table, process, { phase: 'stopping' }, signalEffect);
     case 'SIGTERM':
     case 'SIGINT':
-      // A stopped process handles no signal before it continues.
+      // A process stopped with SIGSTOP handles SIGTERM and SIGINT only after SIGCONT.
       return updateProcess(
         table,
         process,
@@ -144,7 +145,7 @@
   }
 };
 
-/** A daemon that is not in the list would never be found, so its start fails. */
+/** Fails the start of a daemon that is not in the instance list: others could not discover it. */
 const handleListFailed = (
   table: ProcessTable,
   process: ProcessState,
@@ -210,8 +211,9 @@
  * Decides one event of the processes of a cluster.
  *
  * @param table - processes before the event
- * @param event - order of the user, or what was seen of a process
- * @returns the processes after it, and what is to be done
+ * @param event - command, or observation of a process
+ * @returns the processes after the event, and the effects to perform
+ * @throws Error when the named process does not exist, or a process to start is running
  */
 export const decideProcesses = (table: ProcessTable, event: ProcessesEvent): ProcessesStep => {
   switch (event.kind) {
@@ -243,7 +245,7 @@
 /**
  * Creates the child that owns the states of all processes.
  *
- * @returns the decisions of the child
+ * @returns decision logic of the child
  */
 export const createProcessesChild = (): ChildLogic<
   ProcessTable,
--- a/packages/cluster/processes/types.ts
+++ b/packages/cluster/processes/types.ts
@@ -2,17 +2,21 @@
 import type { DataCentreId, InstanceId } from '../../core/ids.js';
 import type { Step } from '../../core/step.js';
 
-/** What a process of a cluster is. */
+/** Program that a process runs: a stand-in or a daemon. */
 export type ProcessRole = 'platform' | 'engine' | 'ledger' | 'entry' | 'endpoint';
 
-/** `listening`: it printed its addresses; `ready`: its readiness page agreed. */
+/**
+ * Phase of a process. A daemon is `listening` once it has printed its addresses, and `ready` once
+ * its readiness page has answered 200. A stand-in is `ready` once it has printed its addresses.
+ */
 export type ProcessPhase = 'starting' | 'listening' | 'ready' | 'frozen' | 'stopping' | 'exited';
 
 export type ProcessSignal = 'SIGTERM' | 'SIGINT' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT';
 
+/** Addresses that a process printed, keyed by interface, e.g. `http` or `rpc`. */
 export type Urls = Readonly<Record<string, string>>;
 
-/** Fields of a daemon in the platform's instance list that its settings fix. */
+/** Fields of a daemon's entry in the platform's instance list that are known before it starts. */
 export interface Listing {
   readonly id: InstanceId;
   readonly dataCentre: DataCentreId;
@@ -21,15 +25,16 @@
   readonly service?: string;
 }
 
+/** State of a daemon in the platform's instance list. */
 export type ListedState = 'live' | 'leaving';
 
 interface ProgramSpec {
   readonly name: string;
-  /** Arguments of the command line. */
+  /** Command-line arguments. */
   readonly argv: readonly string[];
 }
 
-/** A process that the cluster can start. Only daemons are in the instance list. */
+/** Specification of a process. Only daemons are registered in the instance list. */
 export type ProcessSpec =
   | (ProgramSpec & {
       readonly kind: 'standin';
@@ -41,6 +46,7 @@
       readonly listing: Listing;
     });
 
+/** Exit code or signal of a process; both are null when it could not be spawned. */
 export interface ProcessExit {
   readonly code: number | null;
   readonly signal: string | null;
@@ -48,33 +54,41 @@
 
 export interface ProcessState {
   readonly spec: ProcessSpec;
-  /** Counts the starts; events of earlier runs are ignored. */
+  /** Number of the run, from 1; events of earlier runs are ignored. */
   readonly run: number;
   readonly phase: ProcessPhase;
   readonly pid: number | null;
   readonly urls: Urls;
+  /** Null until the process has exited. */
   readonly exit: ProcessExit | null;
-  /** What kept the process from being ready. */
+  /** Why the process is not ready, or why its registration failed; null without a problem. */
   readonly problem: string | null;
 }
 
 /** Processes by name, in start order. */
 export type ProcessTable = ReadonlyMap<string, ProcessState>;
 
+/** Run of a process that an event or effect refers to. */
 interface RunRef {
   readonly name: string;
   readonly run: number;
 }
 
+/** Commands to processes, and observations of their runs. */
 export type ProcessesEvent =
   | { readonly kind: 'start'; readonly spec: ProcessSpec }
   | { readonly kind: 'signal'; readonly name: string; readonly signal: ProcessSignal }
+  /** Marks a daemon as `leaving` in the instance list, then sends it SIGTERM. */
   | { readonly kind: 'leave'; readonly name: string }
   | ({ readonly kind: 'spawned'; readonly pid: number } & RunRef)
   | ({ readonly kind: 'addresses-printed'; readonly urls: Urls } & RunRef)
+  /** The next readiness check is due. */
   | ({ readonly kind: 'check-due' } & RunRef)
+  /** Result of a readiness check; `problem` is null when the daemon is ready. */
   | ({ readonly kind: 'checked'; readonly problem: string | null } & RunRef)
+  /** The start timeout has elapsed. */
   | ({ readonly kind: 'start-overdue' } & RunRef)
+  /** The instance list has stored the state of the daemon. */
   | ({ readonly kind: 'listed'; readonly state: ListedState } & RunRef)
   | ({ readonly kind: 'list-failed'; readonly problem: string } & RunRef)
   | ({ readonly kind: 'exited'; readonly exit: ProcessExit } & RunRef);
