Reword the comments of the clients that call a cluster

'goes on with one', 'nothing answers' and 'end mark' are now resuming a stream, no answer received and the end-of-stream marker. Options say which header or count they drive.

--- a/packages/cluster/callers/callClient.ts
+++ b/packages/cluster/callers/callClient.ts
@@ -5,7 +5,7 @@
   try {
     return JSON.parse(text);
   } catch {
-    // Whether a body is JSON is for the caller of this function to judge.
+    // A body may be something other than JSON; the caller decides whether that is an error.
     return undefined;
   }
 };
@@ -14,12 +14,12 @@
   typeof value === 'string' ? value : '';
 
 /**
- * Calls a path of the callers' interface and reads the whole answer.
+ * Sends a request to the caller API and reads the whole answer.
  *
  * @param target - address and key
- * @param call - method, path, key and body; a body that is text is sent as it is
+ * @param call - method, path, idempotency key and body; a string body is sent unchanged
  * @returns the answer, whatever its status
- * @throws Error when nothing answers
+ * @throws Error when no answer is received
  */
 export const sendCall = async (target: CallerTarget, call: ServiceCall): Promise<CallerAnswer> => {
   const { idempotencyKey, body, signal } = call;
--- a/packages/cluster/callers/standinPages.ts
+++ b/packages/cluster/callers/standinPages.ts
@@ -4,9 +4,9 @@
 const EXECUTIONS_SCHEMA = z.object({ count: z.number() });
 
 /**
- * Counts how often a ledger stand-in ran the calls of a key.
+ * Fetches how often a ledger stand-in executed calls with an idempotency key.
  *
- * @param inspectionUrl - address of its inspection pages
+ * @param inspectionUrl - address of the ledger's inspection pages
  * @param key - idempotency key
  * @returns the number of executions
  */
@@ -18,11 +18,11 @@
 const STATS_SCHEMA = z.object({ requests: z.record(z.string(), z.number()) });
 
 /**
- * Counts how often engine stand-ins ran the generations of a request id.
+ * Counts how often engine stand-ins started a generation with a request id.
  *
  * @param engineUrls - addresses of the engines
- * @param requestId - id that the caller sent
- * @returns the number of executions at all of them
+ * @param requestId - request id that the caller sent
+ * @returns the number of generations, summed over the engines
  */
 export const countGenerations = async (
   engineUrls: readonly string[],
@@ -37,11 +37,11 @@
 };
 
 /**
- * Applies a fault to a stand-in.
+ * Injects a fault into a stand-in.
  *
  * @param url - address of the stand-in, or of the inspection pages of a ledger
  * @param fault - body of `POST /faults`
- * @throws Error when the stand-in refuses it
+ * @throws Error when the stand-in refuses the fault
  */
 export const applyFault = async (url: string, fault: object): Promise<void> => {
   const answer = await request(`${url}/faults`, {
@@ -50,5 +50,5 @@
     body: JSON.stringify(fault),
   });
   const text = await answer.body.text();
-  if (answer.statusCode !== 200) throw new Error(`${url} refuses the fault: ${text}`);
+  if (answer.statusCode !== 200) throw new Error(`${url} refused the fault: ${text}`);
 };
--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -26,7 +26,7 @@
   requestId: z.string(),
 });
 
-/** Progress of a stream, with its end once it has one. */
+/** Progress of a stream, and how it ended once it has. */
 interface StreamState extends StreamProgress {
   readonly end: StreamEnd | undefined;
   readonly firstChunkMs: number | undefined;
@@ -42,9 +42,9 @@
 /**
  * Parses a problem document.
  *
- * @param text - JSON
- * @returns its fields
- * @throws Error when the text is no problem document
+ * @param text - problem document as JSON
+ * @returns the fields that callers use
+ * @throws Error when the text is not a problem document
  */
 export const parseProblem = (text: string): ProblemFields => PROBLEM_SCHEMA.parse(JSON.parse(text));
 
@@ -87,12 +87,12 @@
   });
 
 /**
- * Opens a stream at the callers' interface, or goes on with one.
+ * Opens a stream at the caller API, or resumes one.
  *
  * @param target - address and key
- * @param options - model and prompt; with a last event id the stream is resumed
- * @returns the stream, or the refusal
- * @throws Error when nothing answers
+ * @param options - model and prompt; with `lastEventId` the stream resumes after that event
+ * @returns handle of the stream, or the refusal
+ * @throws Error when no answer is received
  */
 export const openStream = async (
   target: CallerTarget,
@@ -103,7 +103,7 @@
     method: 'POST',
     headers: buildHeaders(target, options),
     body: buildBody(options),
-    // A connection of its own: a caller that leaves must not disturb another.
+    // Uses a separate connection, so that closing the stream does not affect other requests.
     reset: true,
   });
   const { statusCode: status } = answer;
@@ -133,13 +133,13 @@
     parser.feed(decoder.decode(bytes, { stream: true }));
   });
   answer.body.once('end', () => {
-    finish('the connection ended without an end mark');
+    finish('the connection ended before the end-of-stream marker');
   });
   answer.body.once('error', (error) => {
     finish(error.message);
   });
   answer.body.once('close', () => {
-    finish('the caller left');
+    finish('the caller closed the connection');
   });
   const requestId = answer.headers['x-request-id'];
   return {
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -1,12 +1,12 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Caller of the system: where and with which key. */
+/** Address to which a caller sends its requests, and its bearer key. */
 export interface CallerTarget {
   readonly baseUrl: string;
   readonly key: string;
 }
 
-/** One event of a stream, as the caller receives it. */
+/** Server-sent event of a stream. */
 export interface ServerSentEvent {
   readonly id: string | undefined;
   readonly event: string | undefined;
@@ -25,53 +25,55 @@
 /** How a stream ended. */
 export type StreamEnd =
   | { readonly kind: 'done' }
-  /** An explicit error event was the last. */
+  /** The last event was an error event. */
   | { readonly kind: 'failed'; readonly problem: ProblemFields }
-  /** The connection ended without an end mark; the caller may resume. */
+  /** The connection ended before `[DONE]` or an error event; the caller may resume the stream. */
   | { readonly kind: 'cut'; readonly reason: string };
 
-/** What a caller has of a stream so far. */
+/** Part of a stream that the caller has received so far. */
 export interface StreamProgress {
   /** Texts of the chunks, in order of arrival. */
   readonly texts: readonly string[];
-  /** Id of the newest chunk, for `Last-Event-ID`. */
+  /** Id of the latest chunk, to be sent as `Last-Event-ID`. */
   readonly lastEventId: string | undefined;
 }
 
-/** A stream that was read to its end. */
+/** Content of a stream that was read to its end. */
 export interface ReadStream extends StreamProgress {
   readonly end: StreamEnd;
-  /** Time from the request to the first chunk; undefined without a chunk. */
+  /** Time from sending the request to the first chunk; undefined without a chunk. */
   readonly firstChunkMs: Millis | undefined;
 }
 
-/** Answer to a request for a stream. */
+/** Outcome of opening a stream: a handle of the stream, or a refusal. */
 export type StreamAnswer =
   | {
       readonly kind: 'stream';
       readonly requestId: string;
-      /** Resolves with the progress once that many chunks are there, or the stream has ended. */
+      /** Resolves when at least `count` chunks have been received or the stream has ended. */
       readonly waitForChunks: (count: number) => Promise<StreamProgress>;
-      /** Reads to the end. */
+      /** Resolves when the stream has ended. */
       readonly read: () => Promise<ReadStream>;
-      /** Leaves before the end. */
+      /** Closes the connection before the end of the stream. */
       readonly close: () => void;
     }
   | { readonly kind: 'refused'; readonly status: number; readonly problem: ProblemFields };
 
+/** Content of a chat completion request. */
 export interface ChatOptions {
   readonly model: string;
   readonly content: string;
-  /** Length of the answer of an engine stand-in. */
+  /** Length of the answer that an engine stand-in generates. */
   readonly targetTokens?: number;
   readonly className?: string;
+  /** Resumes the stream after this event. */
   readonly lastEventId?: string;
   readonly idempotencyKey?: string;
-  /** Counted by the engine stand-in. */
+  /** Request id; engine stand-ins count generations by it. */
   readonly requestId?: string;
 }
 
-/** Call of a plain service. */
+/** Request to a path of the caller API. */
 export interface ServiceCall {
   readonly method: 'GET' | 'POST';
   /** Path below the base address. */
@@ -82,11 +84,13 @@
   readonly signal?: AbortSignal;
 }
 
+/** Answer of the caller API. */
 export interface CallerAnswer {
   readonly status: number;
+  /** Value of `Content-Type`. */
   readonly type: string;
   readonly requestId: string;
   readonly text: string;
-  /** Parsed body; undefined when it is no JSON. */
+  /** Parsed body; undefined when the body is not JSON. */
   readonly json: unknown;
 }
