Say plainly which failure each cluster test guards against

Titles and comments said 'told as ran', 'goes on', 'ends no entry daemon' or 'an end that nobody tells of'. They name the failure now: reported as ran, resumes, does not crash, missing notification. No assertion changed.

--- a/packages/cluster/atMostOnce.promise.test.ts
+++ b/packages/cluster/atMostOnce.promise.test.ts
@@ -30,14 +30,14 @@
 const getVerdict = ({ json }: CallerAnswer): unknown =>
   (json as { readonly verdict?: unknown } | undefined)?.verdict;
 
-/** Sends the same sweep until it is answered, as a caller does after a refusal as not-run. */
+/** Repeats a sweep until it is not refused as `not-run`, as a caller does. */
 const sendUntilAnswered = (key: string, baseUrl: string): Promise<CallerAnswer> =>
   waitUntil(async () => {
     const answer = await sendSweep(buildCallerTarget(cluster, baseUrl), key);
     return getVerdict(answer) === 'not-run' ? undefined : answer;
   });
 
-// Guards against two entry daemons that each run the same instruction.
+// Guards against two entry daemons that both run the same instruction.
 test.serial('a sweep sent to both entry daemons at once runs once', async (t) => {
   const keys = Array.from({ length: 8 }, createId);
   const pairs = await Promise.all(
@@ -61,7 +61,7 @@
 });
 
 // Guards against a sweep that runs without a durable intent, and against a log outage that stops
-// traffic which needs no log.
+// requests that do not need the log.
 test.serial('a log outage refuses sweeps as not-run and nothing else', async (t) => {
   const platformUrl = cluster.standinUrls.platform;
   await applyFault(platformUrl, { log: 'down' });
@@ -81,7 +81,7 @@
   t.is(await countRuns(key), 1);
 });
 
-// Guards against a second intent, and a second run, after an append whose answer was lost.
+// Guards against a second intent, and a second execution, after the answer of an append was lost.
 test.serial('sweeps whose append answers are lost run at most once', async (t) => {
   const platformUrl = cluster.standinUrls.platform;
   await applyFault(platformUrl, { log: 'lose-answers' });
@@ -102,7 +102,7 @@
   }
 });
 
-// Guards against a caller who sends again after a crash and moves money twice.
+// Guards against a sweep that a caller repeats after a crash and that then moves money twice.
 test.serial('a sweep in flight when its entry daemon is killed runs once', async (t) => {
   const inspectionUrl = getInspectionUrl(cluster);
   const { calls: before = 0 } = await fetchStats(inspectionUrl);
@@ -119,8 +119,8 @@
   t.true((await countRuns(key)) <= 1);
 });
 
-// Guards against a paused daemon that dispatches an intent which others have settled meanwhile.
-test.serial('a daemon that was frozen does not run again what ran meanwhile', async (t) => {
+// Guards against a daemon that, once resumed, dispatches an intent that others settled meanwhile.
+test.serial('a daemon that was frozen does not repeat a sweep that ran meanwhile', async (t) => {
   const key = createId();
   const frozen = cluster.findProcess('entry-1');
   const frozenUrl = getEntryUrl(0);
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -22,7 +22,7 @@
   GenerateRequestSchema,
 } from '../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
 
-/** Queue of what one side received, with a way to wait for the next one. */
+/** Creates a queue of received items; `take` waits for the next one. */
 const createInbox = <Item>() => {
   const items: Item[] = [];
   const waiting: ((item: Item) => void)[] = [];
@@ -44,7 +44,7 @@
 
 const INCARNATION = createId();
 
-/** The endpoint daemon's side of the link; `received` holds what reached its loop. */
+/** Starts the RPC server of an endpoint daemon; `received` holds the events for its loop. */
 const startEndpointSide = async (t: ExecutionContext) => {
   const received = createInbox<EndpointEvent>();
   const server = createRpcServer(INCARNATION, (event) => {
@@ -56,6 +56,7 @@
   return { server, url, received };
 };
 
+/** Creates the endpoint client of an entry daemon; `completed` holds its results. */
 const startEntrySide = (t: ExecutionContext) => {
   const completed = createInbox<EndpointCompletion>();
   const client = createEndpointClient('entry', completed.push);
@@ -104,8 +105,8 @@
 const LARGE = new Uint8Array(MAX_MESSAGE_BYTES);
 const SMALL = new Uint8Array(8);
 
-// Guards against a message that the endpoint daemon cannot read: its sender could not tell whether
-// the request ran, and would put the endpoint under suspicion.
+// Guards against a message that the endpoint daemon cannot read: the entry daemon could not know
+// whether the request ran, and would suspect the endpoint of having failed.
 test('a request too large for a message is refused as not-run before it is sent', async (t) => {
   const { url, received } = await startEndpointSide(t);
   const { client, completed } = startEntrySide(t);
@@ -117,13 +118,13 @@
   client.openGeneration(buildGeneration(url, LARGE));
   t.like(await completed.take(), { kind: 'generation-failed', failure });
   t.deepEqual(received.items, []);
-  // The same link still serves a request of a usual size.
+  // The same connection still serves a small request.
   client.callEndpoint(buildCall(url, SMALL));
   t.like(await received.take(), { kind: 'call-requested', call: { path: '/sweeps' } });
 });
 
-// Guards against an answer that is lost on its way although the request ran.
-test('an answer too large for a message is told as ran', async (t) => {
+// Guards against an answer that is lost in transit although the request ran.
+test('an answer too large for a message is reported as ran', async (t) => {
   const { server, url, received } = await startEndpointSide(t);
   const { client, completed } = startEntrySide(t);
   const answer = { status: 201, headers: [], body: LARGE };
@@ -143,7 +144,7 @@
   readonly text: string;
 }
 
-/** Sends bytes as they are, as a peer with a fault or a cut link would. */
+/** Sends raw bytes, as a faulty peer or a broken connection would. */
 const sendRaw = (
   session: ClientHttp2Session,
   path: string,
@@ -170,6 +171,7 @@
     stream.end(body);
   });
 
+/** Prepends the Connect envelope: a flag byte and the declared length of the message. */
 const addEnvelope = (message: Uint8Array, declaredLength: number): Uint8Array => {
   const envelope = Buffer.alloc(5 + message.length);
   envelope.writeUInt32BE(declaredLength, 1);
@@ -186,7 +188,8 @@
   create(GenerateRequestSchema, { format: 1, mode: 'start', body: SMALL }),
 );
 
-// Guards against half a message that starts work, and against one that ends the link for others.
+// Guards against a truncated message that starts work, and against a message whose error breaks the
+// connection for other requests.
 test('a truncated or oversized message starts nothing and is answered with an error', async (t) => {
   const { url, received } = await startEndpointSide(t);
   const session = connect(url);
@@ -219,8 +222,8 @@
   t.like(await received.take(), { kind: 'call-requested' });
 });
 
-// Guards against a fence of an unknown format that is answered as if it had been understood.
-test('a fence or cancel of a later format is refused with an error that names the format', async (t) => {
+// Guards against a fence of an unknown format that is answered as if it had been applied.
+test('a fence or cancel of a later format is refused with an error that names it', async (t) => {
   const { url, received } = await startEndpointSide(t);
   const session = connect(url);
   t.teardown(() => {
@@ -269,9 +272,9 @@
   configurationOffset: 0,
 } as const;
 
-// Guards against a record with damaged JSON that makes every answer unreadable, so that the leases
-// of all endpoint daemons lapse and they refuse new work.
-test('a record with damaged JSON reaches the endpoint daemon among its neighbours', async (t) => {
+// Guards against a record with invalid JSON that makes every heartbeat answer unreadable, so that
+// the leases of all endpoint daemons expire and they refuse new work.
+test('a record with invalid JSON reaches the endpoint daemon with the others', async (t) => {
   const heartbeats = createInbox<readonly [string, ReceivedHeartbeat]>();
   const server = createHeartbeatServer((id, heartbeat) => {
     heartbeats.push([id, heartbeat]);
@@ -284,7 +287,7 @@
   t.teardown(client.close);
   client.sendHeartbeat('entry', url, HEARTBEAT_CONTENT);
   const [id] = await heartbeats.take();
-  // A body of undefined is sent as an empty text, which is no JSON.
+  // A body of undefined is sent as an empty string, which is not valid JSON.
   const bodies = [{ a: 1 }, undefined, { b: 2 }];
   const records = bodies.map((body, offset) => ({ offset, at: 0, body }));
   server.replyHeartbeat(id, { watermark: 3, records, snapshot: null, leaseMs: 9 });
--- a/packages/cluster/cluster.test.ts
+++ b/packages/cluster/cluster.test.ts
@@ -8,7 +8,7 @@
 import { startCluster } from './startCluster.js';
 import { loadSettings } from '../settings/load.js';
 
-/** Directory for temporary files of this test file alone. */
+/** Temporary directory of this test file, so that leftover files are found. */
 const TEST_DIRECTORY = mkdtempSync(join(tmpdir(), 'chestnutspan-cluster-test-'));
 process.env['TMPDIR'] = TEST_DIRECTORY;
 
@@ -16,7 +16,7 @@
   rmSync(TEST_DIRECTORY, { recursive: true, force: true });
 });
 
-// Guards against settings that a daemon refuses, and against bearer keys in files.
+// Guards against settings that a daemon rejects, and against bearer keys in files.
 test.serial('the settings files are valid and hold only hashes of keys', (t) => {
   const directory = mkdtempSync(join(tmpdir(), 'chestnutspan-settings-'));
   const key = createKey();
@@ -45,7 +45,7 @@
 
 // Guards against processes and files that outlive a cluster.
 test.serial(
-  'a cluster of stand-ins starts, survives a restart on its port, and leaves nothing',
+  'a stand-in restarts on its port, and a stopped cluster leaves no process or file',
   async (t) => {
     const cluster = await startCluster({ entryDaemons: 0, engines: [], ledgers: 0 });
     const platform = cluster.findProcess('platform-1');
@@ -62,8 +62,8 @@
   },
 );
 
-// Guards against a failed start whose cause nobody can see and whose processes stay.
-test.serial('a start that fails tells why and ends what was started', async (t) => {
+// Guards against a failed start that hides its cause and leaves processes running.
+test.serial('a failed start reports its cause and stops the started processes', async (t) => {
   const options = { entryDaemons: 0, ledgers: 0, engines: [{ standin: { memoryTokens: 0 } }] };
   await t.throwsAsync(startCluster(options), {
     message: /engine-1 did not start: it ended with code 64[^]*memory-tokens/,
--- a/packages/cluster/frozenEndpoint.test.ts
+++ b/packages/cluster/frozenEndpoint.test.ts
@@ -4,9 +4,9 @@
 
 const STREAM_TOKENS = 3_000;
 
-// Guards against an entry daemon that ends because one endpoint daemon does not answer: the probe of
-// the frozen connection breaks it, and its running streams resume at once.
-test.serial('a frozen endpoint daemon ends no entry daemon', async (t) => {
+// Guards against an entry daemon that crashes because one endpoint daemon does not answer: the
+// probe of the frozen connection closes it, and its running streams resume at once.
+test.serial('a frozen endpoint daemon does not crash an entry daemon', async (t) => {
   const cluster = await startCluster({ entryDaemons: 1, engines: [{}], ledgers: 1 });
   t.teardown(cluster.stop);
   const entryUrl = cluster.entryUrls[0] ?? '';
--- a/packages/cluster/generationOnce.promise.test.ts
+++ b/packages/cluster/generationOnce.promise.test.ts
@@ -32,7 +32,7 @@
 
 const getEntryUrl = (index: number): string => cluster.entryUrls[index] ?? '';
 
-/** Publishes the class and waits until both entry daemons have it. */
+/** Publishes the class and waits until both entry daemons have applied it. */
 const publishClass = async (): Promise<void> => {
   const answer = await request(`${cluster.operatorUrl}/operator/records`, {
     method: 'POST',
@@ -87,7 +87,7 @@
   throw new Error(`the stream was cut: ${end.reason}`);
 };
 
-/** Sends until the reply is other than a refusal as not-run, as a caller does. */
+/** Repeats a generation until it is not refused as `not-run`, as a caller does. */
 const sendUntilAnswered = (baseUrl: string, options: ChatOptions): Promise<Reply> =>
   waitUntil(async () => {
     const reply = await sendGeneration(baseUrl, options);
@@ -95,7 +95,7 @@
     return isRefused ? undefined : reply;
   });
 
-// Guards against a caller who sends a generation again after a crash and makes it run twice.
+// Guards against a generation that a caller repeats after a crash and that then runs twice.
 test.serial('a generation whose entry daemon is killed in mid-stream runs once', async (t) => {
   const options = buildOptions(createId());
   const interrupted = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
@@ -107,12 +107,12 @@
   if (reply.kind !== 'answer') return;
   t.is(checkTokens(reply.texts), null);
   t.is(reply.texts.length, TARGET_TOKENS);
-  // The first token names the generation.
+  // The first token is the id of the generation.
   t.is(reply.texts[0], received.texts[0]);
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against a repeated key that starts a second generation at the same or another daemon.
+// Guards against a repeated idempotency key that starts a second generation at any entry daemon.
 test.serial('a repeated key gets the stored answer at both entry daemons', async (t) => {
   const options = buildOptions(createId());
   const first = await sendGeneration(getEntryUrl(0), options);
@@ -127,7 +127,7 @@
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against two entry daemons that each start the same generation.
+// Guards against two entry daemons that both start the same generation.
 test.serial('a generation sent to both entry daemons at once runs once', async (t) => {
   const options = buildOptions(createId());
   const replies = await Promise.all(
@@ -138,8 +138,9 @@
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against a caller that leaves a keyed generation, which an orphan timeout then cancels.
-test.serial('a generation whose caller left runs to its end and is kept', async (t) => {
+// Guards against an orphan timeout that cancels a generation with an idempotency key after its
+// caller has disconnected.
+test.serial('a generation whose caller disconnected runs to its end and is stored', async (t) => {
   const options = buildOptions(createId());
   const abandoned = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   const received = await abandoned.waitForChunks(CHUNKS_BEFORE_FAULT);
@@ -151,7 +152,8 @@
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against a second attempt after one that may have run, for a request without a key.
+// Guards against a second attempt after one that may have run, for a request without an idempotency
+// key.
 test.serial('a generation without a key makes one attempt that may have run', async (t) => {
   const options = { ...buildOptions(), targetTokens: 2_000 };
   const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
--- a/packages/cluster/gracefulShutdown.promise.test.ts
+++ b/packages/cluster/gracefulShutdown.promise.test.ts
@@ -19,8 +19,8 @@
     ),
   );
 
-// Guards against a shutdown of an entry daemon that cuts off streams that it could finish.
-test.serial('SIGTERM to an entry daemon lets its streams end', async (t) => {
+// Guards against a shutdown of an entry daemon that cuts off streams it could have finished.
+test.serial('an entry daemon finishes its streams after SIGTERM', async (t) => {
   const cluster = await startTestCluster();
   t.teardown(cluster.stop);
   const streams = await startStreams(cluster, cluster.entryUrls[0] ?? '', 3);
@@ -35,7 +35,7 @@
   t.deepEqual(await exit, { code: 0, signal: null });
 });
 
-// Guards against a stream that is cut off at the end of the drain and cannot go on elsewhere.
+// Guards against a stream that is cut off at the end of the drain and cannot be resumed elsewhere.
 test.serial(
   'a stream that outlasts the drain is handed over to the other entry daemon',
   async (t) => {
@@ -60,9 +60,9 @@
   },
 );
 
-// Guards against a leaving endpoint whose streams are cut off or that gets new work.
+// Guards against a leaving endpoint daemon that cuts off its streams or gets new work.
 test.serial(
-  'SIGTERM to an endpoint daemon lets its streams end, and others take new work',
+  'a leaving endpoint daemon finishes its streams, and others get new work',
   async (t) => {
     const cluster = await startTestCluster();
     t.teardown(cluster.stop);
--- a/packages/cluster/moveNotice.test.ts
+++ b/packages/cluster/moveNotice.test.ts
@@ -67,8 +67,8 @@
 const waitForNotifiedRecord = (url: string) =>
   waitForLogEvent(url, 'configuration-applied', ({ data }) => data?.['kind'] === 'move-notified');
 
-// Guards against one notification of the same end from every entry daemon, and from each daemon
-// that starts again later.
+// Guards against duplicate notifications: from every entry daemon, or from a daemon that is
+// restarted after the move has ended.
 test.serial('an ended move is notified once by two entry daemons', async (t) => {
   const offset = await startMove();
   await publish('move-ended', { outcome: 'taken-back', reason: 'by hand' }, offset);
@@ -80,20 +80,23 @@
   t.is(listEndNotifications().length, 1);
 });
 
-// Guards against an end that nobody tells of, because the daemon that appended it is gone.
-test.serial('another entry daemon notifies when the author of the end is gone', async (t) => {
-  const offset = await startMove();
-  const [first = '', second = ''] = cluster.entryUrls;
-  await waitForLogEvent(second, 'move-started');
-  // The first daemon cannot reach the receiver any more, and ends with the end in the log.
-  receiver.closeAllConnections();
-  await new Promise((resolve) => receiver.close(resolve));
-  await publish('move-ended', { outcome: 'taken-back', reason: 'by hand' }, offset);
-  await waitForLogEvent(first, 'notification-failed');
-  await cluster.findProcess('entry-1').kill('SIGKILL');
-  t.is(listEndNotifications().length, 0);
-  await new Promise<void>((resolve) => receiver.listen(port, '127.0.0.1', resolve));
-  await waitUntil(() => Promise.resolve(listEndNotifications().length > 0 ? true : undefined));
-  await waitForNotifiedRecord(second);
-  t.is(listEndNotifications().length, 1);
-});
+// Guards against a missing notification when the daemon that appended the end of the move is gone.
+test.serial(
+  'another entry daemon notifies when the daemon that ended the move is gone',
+  async (t) => {
+    const offset = await startMove();
+    const [first = '', second = ''] = cluster.entryUrls;
+    await waitForLogEvent(second, 'move-started');
+    // The receiver is down, so the first daemon appends the end of the move but cannot notify.
+    receiver.closeAllConnections();
+    await new Promise((resolve) => receiver.close(resolve));
+    await publish('move-ended', { outcome: 'taken-back', reason: 'by hand' }, offset);
+    await waitForLogEvent(first, 'notification-failed');
+    await cluster.findProcess('entry-1').kill('SIGKILL');
+    t.is(listEndNotifications().length, 0);
+    await new Promise<void>((resolve) => receiver.listen(port, '127.0.0.1', resolve));
+    await waitUntil(() => Promise.resolve(listEndNotifications().length > 0 ? true : undefined));
+    await waitForNotifiedRecord(second);
+    t.is(listEndNotifications().length, 1);
+  },
+);
--- a/packages/cluster/notRun.promise.test.ts
+++ b/packages/cluster/notRun.promise.test.ts
@@ -20,7 +20,7 @@
   readonly name: string;
   readonly status: number;
   readonly code: string;
-  /** What the error must name. */
+  /** Pattern of the problem's `detail`. */
   readonly detail: RegExp;
   readonly call: ServiceCall;
   readonly key?: string;
@@ -132,8 +132,8 @@
   ];
 };
 
-// Guards against errors that do not say whether the request ran, and against refusals of requests
-// that then run all the same.
+// Guards against errors that do not say whether the request ran, and against refused requests that
+// run nevertheless.
 test.serial('bad input is refused as not-run, with its code, and nothing runs', async (t) => {
   const engineUrl = Object.values(cluster.standinUrls.engines)[0] ?? '';
   const caller: CallerTarget = buildCallerTarget(cluster);
@@ -147,7 +147,7 @@
     t.is(requestId, answer.requestId, name);
     t.not(requestId, '', name);
   }
-  // A ticket names a generation that ran, so its refusal promises nothing about that generation.
+  // A ticket refers to a generation that was started, so its refusal must not claim `not-run`.
   const resume = { method: 'POST', path: '/v1/chat/completions', body: buildChat() } as const;
   const resumed = await sendCall(caller, { ...resume, headers: { 'last-event-id': 'nonsense' } });
   t.like(resumed.json, { verdict: 'may-have-run', code: 'bad-request', status: 400 });
@@ -157,8 +157,8 @@
   t.is(await countExecutions(getInspectionUrl(cluster), 'refused'), 0);
 });
 
-// Guards against a request id that differs between the caller's log and ours.
-test.serial('the request id of the caller comes back', async (t) => {
+// Guards against a request id that differs between the caller's log and that of the entry daemon.
+test.serial('an answer carries the request id of the caller', async (t) => {
   const call: ServiceCall = {
     method: 'GET',
     path: '/services/ledger/balances/caroni',
--- a/packages/cluster/onceInOrder.promise.test.ts
+++ b/packages/cluster/onceInOrder.promise.test.ts
@@ -25,8 +25,8 @@
 
 const getEngineUrl = (): string => Object.values(cluster.standinUrls.engines)[0] ?? '';
 
-// Guards against tokens that are lost or repeated, or a second generation, after an entry daemon died.
-test.serial('a stream goes on at the other entry daemon after one was killed', async (t) => {
+// Guards against lost or repeated tokens, or a second generation, after an entry daemon died.
+test.serial('a stream resumes at the other entry daemon after one was killed', async (t) => {
   const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
   const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   await stream.waitForChunks(20);
@@ -45,8 +45,8 @@
   t.is(first.texts.length + rest.texts.length, STREAM_TOKENS);
 });
 
-// Guards against a stream that hangs, ends as if it were whole, or goes on with other tokens after
-// the process that held it has died.
+// Guards against a stream that hangs, ends as if complete, or continues with tokens of another
+// generation after its endpoint daemon has died.
 test.serial('a stream whose endpoint daemon was killed ends with an explicit error', async (t) => {
   const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
   const stream = await openTestStream(buildCallerTarget(cluster), options);
@@ -61,6 +61,7 @@
   t.like(await again.read(), { end: { kind: 'done' } });
 });
 
+/** Returns null when a stream is complete or ends with an error event, and has the right tokens. */
 const checkExplicitEnd = ({ texts, end }: ReadStream, tokens: number): string | null => {
   if (end.kind === 'cut') return `cut: ${end.reason}`;
   if (end.kind === 'done' && texts.length !== tokens)
@@ -68,14 +69,14 @@
   return texts.length === 0 ? null : checkTokens(texts);
 };
 
-// Guards against answers that are spliced from two generations, and against full load on an engine
-// whose cache and ramp started again.
+// Guards against answers spliced from two generations, and against full load on an engine whose
+// cache and ramp-up have started over.
 test.serial(
-  'an engine that restarts cold under load splices nothing and is not overrun',
+  'an engine that restarts cold under load splices no answers and is not overloaded',
   async (t) => {
     const options = { model: cluster.model, targetTokens: STREAM_TOKENS };
     const caller = buildCallerTarget(cluster);
-    // The first streams have an endpoint at once; the others wait for the admission limit to grow.
+    // The first streams are admitted at once; the others wait until the admission limit grows.
     const waiting = Array.from({ length: 8 }, (_, index) =>
       openTestStream(caller, { ...options, content: `memo ${index.toString()}` }),
     );
@@ -89,7 +90,7 @@
       waiting.map(async (opening) => (await opening).read()),
     );
     for (const result of results) {
-      // A refusal is explicit too: nothing of it was shown.
+      // A refusal is explicit too: the caller has received no token.
       if (result.status === 'fulfilled') t.is(checkExplicitEnd(result.value, STREAM_TOKENS), null);
       else t.regex(String(result.reason), /"verdict":"(not-run|may-have-run)"/);
     }
@@ -101,15 +102,15 @@
   },
 );
 
-// Guards against callers who hang on a frozen daemon, and against one that acts on what it knew
-// before it was frozen.
-test.serial('a stream goes on at the other entry daemon while one is frozen', async (t) => {
+// Guards against callers that hang on a frozen daemon, and against a resumed daemon that acts on
+// outdated state.
+test.serial('a stream resumes at the other entry daemon while one is frozen', async (t) => {
   const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
   const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   await stream.waitForChunks(20);
   const frozen = cluster.findProcess('entry-1');
   frozen.freeze();
-  // What the daemon had sent before it froze is read first; then the caller gives up.
+  // The caller reads what the daemon sent before it was frozen, and then disconnects.
   const { texts, lastEventId = '' } = await stream.waitForChunks(20);
   stream.close();
   const resumed = await openTestStream(buildCallerTarget(cluster), { ...options, lastEventId });
