Reword the comments of the cluster's plan, settings and handle

'what a daemon stands before', 'place', 'let go' and 'looking again and again' are now the engine or service served, the data centre, released and polling. Fields without a comment that needed one have it: stop order, addresses, ticket secret, and which errors starting a cluster throws.

--- a/packages/cluster/cluster.ts
+++ b/packages/cluster/cluster.ts
@@ -9,7 +9,7 @@
 import type { SettingsContext } from './settingsFiles.js';
 import type { Cluster, ClusterProcess, EngineWithEndpoint, StandinUrls } from './types.js';
 
-/** Parts of a started cluster. */
+/** Components of a started cluster. */
 export interface ClusterParts {
   readonly plan: ClusterPlan;
   readonly context: SettingsContext;
@@ -17,7 +17,7 @@
   readonly balancer: Balancer;
 }
 
-/** Roles in the order in which their processes end; callers are let go first. */
+/** Roles in stop order; entry daemons stop first, so that callers are released. */
 const STOP_ORDER: readonly ProcessRole[] = ['entry', 'endpoint', 'ledger', 'engine', 'platform'];
 
 const findState = (control: ProcessControl, name: string): ProcessState => {
@@ -30,10 +30,10 @@
   [...control.getTable().values()].filter(({ spec }) => spec.role === role);
 
 /**
- * Lists the callers' addresses of the entry daemons that take connections.
+ * Lists the caller addresses of the entry daemons that are ready.
  *
- * @param control - processes
- * @returns the addresses; a frozen or stopping daemon is left out, as after a failed health check
+ * @param control - processes of the cluster
+ * @returns addresses without those of frozen or stopping daemons, as after a failed health check
  */
 export const listCallerUrls = (control: ProcessControl): readonly string[] =>
   listStates(control, 'entry')
@@ -41,10 +41,11 @@
     .map(({ urls }) => urls['callers'] ?? '');
 
 /**
- * Ends the processes of a cluster in reverse start order.
+ * Stops the processes of a cluster, role by role in reverse start order, and its loop, and removes
+ * its directory.
  *
- * @param control - processes
- * @param context - drain time of the daemons, and the directory, which is removed
+ * @param control - processes of the cluster
+ * @param context - drain time of the daemons, and the directory of the cluster
  */
 export const stopProcesses = async (
   control: ProcessControl,
@@ -109,7 +110,7 @@
   })),
 });
 
-/** Starts one more engine with its endpoint daemon. */
+/** Starts an engine and its endpoint daemon. */
 const startEngine = async (
   { context, control }: ClusterParts,
   planned: PlannedEndpoint,
@@ -127,7 +128,7 @@
 /**
  * Creates the handle of a started cluster.
  *
- * @param parts - processes, settings and balancer
+ * @param parts - components of the cluster
  * @returns the handle
  */
 export const createCluster = (parts: ClusterParts): Cluster => {
--- a/packages/cluster/constants.ts
+++ b/packages/cluster/constants.ts
@@ -1,21 +1,21 @@
 import type { Millis } from '../core/clock.js';
 
-/** Time within which a process must serve and be ready; a loaded machine needs several seconds. */
+/** Timeout from spawning a process to its readiness; a loaded machine needs several seconds. */
 export const START_TIMEOUT_MS: Millis = 60_000;
 
-/** Time between two checks of a daemon's readiness. */
+/** Interval of a daemon's readiness checks. */
 export const READY_POLL_MS: Millis = 50;
 
-/** Time that a request to a stand-in or a readiness page may take. */
+/** Timeout of requests to the instance list and to readiness pages. */
 export const REQUEST_TIMEOUT_MS: Millis = 5_000;
 
-/** Drain time in the settings of the daemons, shorter than their default so that a stop is quick. */
+/** Default drain time of the daemons, shorter than that of the settings for a fast stop. */
 export const CLUSTER_DRAIN_MS: Millis = 10_000;
 
-/** Time beyond the drain time after which a process is ended with SIGKILL. */
+/** Time after the drain time at which a process that has not exited is sent SIGKILL. */
 export const STOP_MARGIN_MS: Millis = 5_000;
 
-/** Lines at the end of a process's error output that a failed start shows. */
+/** Number of last stderr lines of a process that the error of a failed start includes. */
 export const ERROR_OUTPUT_LINES = 12;
 
 export const DEFAULT_DATA_CENTRES = ['dc-a', 'dc-b'] as const;
--- a/packages/cluster/loadCluster.ts
+++ b/packages/cluster/loadCluster.ts
@@ -31,7 +31,7 @@
   };
 };
 
-/** Publishes one record based on what is in force now. */
+/** Publishes a configuration record based on the current offset of its entity. */
 const publishRecord = async (
   cluster: Cluster,
   kind: string,
@@ -53,7 +53,8 @@
     body: JSON.stringify({ kind, entity, basedOn: existing?.offset ?? null, body }),
   });
   const text = await answer.body.text();
-  if (answer.statusCode !== 200) throw new Error(`${kind} ${entity} was refused: ${text}`);
+  if (answer.statusCode !== 200)
+    throw new Error(`the entry daemon refused record ${kind} ${entity}: ${text}`);
 };
 
 const publishTargets = async (cluster: Cluster, scenario: Scenario): Promise<void> => {
@@ -106,25 +107,26 @@
   return answer.statusCode === 200;
 };
 
-/** Waits until every daemon takes work, so that a run does not begin with cold endpoints. */
+/** Waits until every daemon is ready, so that no run starts with cold endpoints. */
 const waitForReady = async (cluster: Cluster): Promise<void> => {
   const deadline = Date.now() + READY_TIMEOUT_MS;
   for (const process of cluster.processes) {
     const url = process.urls['callers'] ?? process.urls['http'];
     if (url === undefined) continue;
     while (!(await isReady(url))) {
-      if (Date.now() > deadline) throw new Error(`${process.name} did not get ready`);
+      if (Date.now() > deadline) throw new Error(`${process.name} did not become ready in time`);
       await sleep(READY_POLL_MS);
     }
   }
 };
 
 /**
- * Starts a cluster of processes for one run of a scenario, with the scenario's targets in force.
+ * Starts a cluster of processes for one run of a scenario and publishes the scenario's targets.
  *
  * @param scenario - deployment, customers and classes
  * @param policy - placement policy of the entry daemons
- * @returns the cluster under its ids of the scenario
+ * @returns the cluster, with engines and services keyed by their ids in the scenario
+ * @throws Error when a process fails to start or become ready, or the targets are refused
  */
 export const startLoadCluster = async (
   scenario: Scenario,
--- a/packages/cluster/plan.ts
+++ b/packages/cluster/plan.ts
@@ -11,7 +11,7 @@
 import type { ClusterOptions, EngineSpec, EngineStandinOptions } from './types.js';
 import type { DataCentreId, ModelName, VersionName } from '../core/ids.js';
 
-/** What an endpoint daemon stands before. */
+/** Engine or service that an endpoint daemon serves. */
 export type EndpointTarget =
   | {
       readonly kind: 'model';
@@ -21,20 +21,22 @@
     }
   | { readonly kind: 'service'; readonly service: string; readonly version: VersionName };
 
-/** A stand-in with the endpoint daemon beside it. */
+/** A stand-in and the endpoint daemon that serves it. */
 export interface PlannedEndpoint {
   readonly standin: ProcessSpec;
+  /** Process name of the endpoint daemon. */
   readonly endpoint: string;
   readonly dataCentre: DataCentreId;
   readonly target: EndpointTarget;
 }
 
+/** An entry daemon. */
 export interface PlannedEntry {
   readonly name: string;
   readonly dataCentre: DataCentreId;
 }
 
-/** Everything that a cluster starts, in start order. */
+/** All processes that a cluster starts, in start order. */
 export interface ClusterPlan {
   readonly platform: ProcessSpec;
   readonly endpoints: readonly PlannedEndpoint[];
@@ -43,12 +45,13 @@
   readonly models: readonly ModelName[];
 }
 
-/** Number of processes of each kind, from which the next names come. */
+/** Numbers of planned processes; the names of further ones continue from them. */
 export interface ProcessCounts {
   readonly engines: number;
   readonly endpoints: number;
 }
 
+/** Converts options to command-line flags: `{ warmUpMs: 5 }` becomes `--warm-up-ms 5`. */
 const toFlags = (options: object): readonly string[] =>
   Object.entries(options).flatMap(([name, value]) => {
     if (value === undefined) return [];
@@ -71,10 +74,10 @@
 /**
  * Plans an engine and its endpoint daemon.
  *
- * @param spec - model, version, place and start options
- * @param counts - processes that exist
- * @param dataCentres - data centres that are taken in turn
- * @returns the plan
+ * @param spec - model, version, data centre and options of the stand-in
+ * @param counts - processes planned so far
+ * @param dataCentres - data centres to assign round-robin when `spec` names none
+ * @returns the engine and its endpoint daemon
  */
 export const planEngine = (
   spec: EngineSpec,
@@ -113,10 +116,10 @@
   Array.from({ length }, (_, index) => index);
 
 /**
- * Plans a cluster: names, places and the arguments of the stand-ins.
+ * Plans a cluster: process names, data centres and the arguments of the stand-ins.
  *
- * @param options - what the cluster consists of
- * @returns the plan; the settings of the daemons follow once the stand-ins serve
+ * @param options - options of the cluster
+ * @returns the plan; the daemons' settings need the addresses of the started stand-ins and follow
  */
 export const planCluster = (options: ClusterOptions): ClusterPlan => {
   const dataCentres = options.dataCentres ?? DEFAULT_DATA_CENTRES;
--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -13,14 +13,15 @@
 import { assertNever } from '../core/assertNever.js';
 import type { ModelName } from '../core/ids.js';
 
-/** Bearer keys and the secret of a cluster; settings files hold only the hashes of keys. */
+/** Bearer keys and ticket secret of a cluster. Settings files contain only hashes of bearer keys. */
 export interface ClusterKeys {
   readonly customers: readonly (CustomerSpec & { readonly key: string })[];
   readonly operatorKey: string;
+  /** Secret that signs resume tickets. */
   readonly ticketKey: string;
 }
 
-/** What the settings files of all daemons of a cluster share. */
+/** Inputs shared by the settings files of all daemons of a cluster. */
 export interface SettingsContext {
   readonly directory: string;
   readonly platformUrl: string;
@@ -123,9 +124,9 @@
 /**
  * Writes the settings file of an entry daemon.
  *
- * @param entry - name and place
- * @param context - what all daemons share
- * @returns the process that runs with the file
+ * @param entry - name and data centre of the daemon
+ * @param context - inputs shared by all daemons
+ * @returns specification of the process that runs with the file
  */
 export const writeEntrySettings = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
   const file = writeSettings(context.directory, entry.name, buildEntrySettings(entry, context));
@@ -141,10 +142,10 @@
 /**
  * Writes the settings file of an endpoint daemon.
  *
- * @param planned - name, place and what the daemon stands before
+ * @param planned - name, data centre and target of the daemon
  * @param standinUrls - addresses that its stand-in printed
- * @param context - what all daemons share
- * @returns the process that runs with the file
+ * @param context - inputs shared by all daemons
+ * @returns specification of the process that runs with the file
  */
 export const writeEndpointSettings = (
   planned: PlannedEndpoint,
--- a/packages/cluster/startCluster.ts
+++ b/packages/cluster/startCluster.ts
@@ -25,7 +25,10 @@
   return platform?.urls['platform'] ?? '';
 };
 
-/** Starts the stand-ins, then all daemons together: they are ready once they have found each other. */
+/**
+ * Starts the stand-ins, then all daemons together, because they become ready only once they have
+ * discovered each other.
+ */
 const startStandinsAndDaemons = async (
   control: ProcessControl,
   plan: ClusterPlan,
@@ -40,12 +43,13 @@
 };
 
 /**
- * Starts a whole system as real processes on loopback: stand-ins of the outside, endpoint daemons,
- * entry daemons, and a balancer in this process. Settings files lie in a fresh temporary directory.
+ * Starts a whole system as processes on loopback: stand-ins of the platform, engines and services,
+ * endpoint daemons and entry daemons. The load balancer runs in this process. Settings files are
+ * written to a new temporary directory.
  *
- * @param options - what the cluster consists of
+ * @param options - options of the cluster
  * @returns the cluster, with every daemon ready
- * @throws Error when a process does not start; everything that was started is then ended
+ * @throws Error when a process fails to start; the started ones are stopped first
  */
 export const startCluster = async (options: ClusterOptions = {}): Promise<Cluster> => {
   const plan = planCluster(options);
@@ -59,7 +63,7 @@
   });
   const shared = { directory, keys, models: plan.models, options };
   const listTargets = (): readonly string[] => listCallerUrls(control);
-  // The balancer comes first, so that a port that is taken is reported before anything starts.
+  // Starts the balancer first, so that a port in use is reported before any process starts.
   const balancer = await startBalancer({ port: options.port ?? 0, listTargets });
   try {
     const context = { ...shared, platformUrl: await startPlatform(control, plan) };
--- a/packages/cluster/supervisor.ts
+++ b/packages/cluster/supervisor.ts
@@ -4,10 +4,10 @@
 import type { ChildSpec } from '../core/supervision/types.js';
 
 /**
- * Lists the children of a cluster's loop. The processes themselves are not restarted by it: a test
- * or the platform decides what follows the end of a process.
+ * Lists the children of a cluster's loop. The loop does not restart processes that exit: that is
+ * left to the test or tool that started the cluster.
  *
- * @param publish - receives the state of all processes
+ * @param publish - receives each new state of the process table
  * @returns the children in start order
  */
 export const listClusterChildren = (
--- a/packages/cluster/testing.ts
+++ b/packages/cluster/testing.ts
@@ -6,18 +6,18 @@
 import type { EventName } from '../core/events/catalogue.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** Stream that was not refused. */
+/** Handle of a stream that was not refused. */
 export type OpenedStream = Extract<StreamAnswer, { readonly kind: 'stream' }>;
 
-/** Pause between two looks at a page whose change a test waits for. */
+/** Interval at which tests poll a page until it changes. */
 const POLL_INTERVAL_MS = 20;
 
 /**
- * Builds the target of a test's caller.
+ * Builds the target of a test's requests.
  *
  * @param cluster - running system
- * @param baseUrl - address of one entry daemon; the balancer when not given
- * @returns address and key of the first customer
+ * @param baseUrl - address of an entry daemon; defaults to the load balancer
+ * @returns the address, and the key of the first customer
  */
 export const buildCallerTarget = (cluster: Cluster, baseUrl?: string): CallerTarget => ({
   baseUrl: baseUrl ?? cluster.baseUrl,
@@ -28,8 +28,9 @@
  * Opens a stream that must not be refused.
  *
  * @param target - address and key
- * @param options - prompt and length
- * @returns the stream
+ * @param options - content of the request
+ * @returns handle of the stream
+ * @throws Error when the request is refused
  */
 export const openTestStream = async (
   target: CallerTarget,
@@ -42,10 +43,11 @@
 
 /**
  * Checks that chunks are the tokens of one generation of the engine stand-in, each once, in order.
+ * Token 0 of a generation is its id, which begins with `g`; token n is `w` and its number.
  *
  * @param texts - chunks in order of arrival
  * @param firstNumber - number of the first token
- * @returns null, or the first wrong token
+ * @returns null, or a description of the first wrong token
  */
 export const checkTokens = (texts: readonly string[], firstNumber = 0): string | null => {
   const words = texts.join('').trim().split(' ');
@@ -59,10 +61,10 @@
 };
 
 /**
- * Waits for a condition of a page by looking at it again and again. The test's timeout bounds it.
+ * Polls until a value is available. The only timeout is that of the test.
  *
- * @param poll - looks once; undefined means not yet
- * @returns what the look found
+ * @param poll - polls once; undefined means that the value is not available yet
+ * @returns the first value other than undefined
  */
 export const waitUntil = async <Value>(poll: () => Promise<Value | undefined>): Promise<Value> => {
   for (;;) {
@@ -78,11 +80,11 @@
 };
 
 /**
- * Waits for an event in the log of a daemon.
+ * Waits until a daemon has logged an event.
  *
- * @param url - address of its pages
- * @param name - event
- * @param isMatch - further condition
+ * @param url - address of the daemon's pages
+ * @param name - name of the event
+ * @param isMatch - further condition on the event
  * @returns the event
  */
 export const waitForLogEvent = (
@@ -99,7 +101,7 @@
 export type Stats = Readonly<Record<string, number>>;
 
 /**
- * Reads the counters of a stand-in.
+ * Fetches the counters of a stand-in.
  *
  * @param url - address of the stand-in, or of the inspection pages of a ledger
  * @returns the counters
@@ -108,19 +110,19 @@
   (await fetchJson(`${url}/standin/stats`)) as Stats;
 
 /**
- * Gets the inspection address of the first ledger.
+ * Returns the address of the first ledger's inspection pages.
  *
  * @param cluster - running system
- * @returns the address
+ * @returns the address, or an empty string without a ledger
  */
 export const getInspectionUrl = (cluster: Cluster): string =>
   Object.values(cluster.standinUrls.ledgers)[0]?.inspection ?? '';
 
 /**
- * Sends a sweep instruction.
+ * Sends a sweep instruction to the ledger service.
  *
  * @param target - address and key
- * @param idempotencyKey - key of the instruction
+ * @param idempotencyKey - idempotency key of the instruction
  * @returns the answer
  */
 export const sendSweep = (target: CallerTarget, idempotencyKey: string): Promise<CallerAnswer> =>
@@ -132,7 +134,7 @@
   });
 
 /**
- * Looks up a balance.
+ * Fetches a balance from the ledger service, a call that may be repeated.
  *
  * @param target - address and key
  * @returns the answer
--- a/packages/cluster/types.ts
+++ b/packages/cluster/types.ts
@@ -7,11 +7,13 @@
 import type { EngineSettings } from '../standins/engine/types.js';
 import type { PlatformOptions } from '../standins/platform/types.js';
 
+/** Content of an entry daemon's settings file, before defaults apply. */
 export type EntrySettingsInput = z.input<typeof ENTRY_SCHEMA>;
 
+/** Content of an endpoint daemon's settings file, before defaults apply. */
 export type EndpointSettingsInput = z.input<typeof ENDPOINT_SCHEMA>;
 
-/** Start options of an engine stand-in that its command has flags for. */
+/** Options of an engine stand-in that can be set with command-line flags. */
 export type EngineStandinOptions = Partial<
   Pick<
     EngineSettings,
@@ -29,67 +31,70 @@
   >
 >;
 
-/** One engine with its endpoint daemon. */
+/** Configuration of an engine stand-in and its endpoint daemon. */
 export interface EngineSpec {
   readonly model?: ModelName;
   readonly version?: VersionName;
-  /** Data centres are taken in turn when none is given. */
+  /** Assigned round-robin by default. */
   readonly dataCentre?: DataCentreId;
   readonly standin?: EngineStandinOptions;
 }
 
+/** Customer in the settings of the entry daemons. */
 export interface CustomerSpec {
   readonly id: string;
   readonly weight?: number;
   readonly defaultClass?: string;
 }
 
-/** What a cluster consists of; a missing field takes its default. */
+/** Options of a cluster; every field has a default. */
 export interface ClusterOptions {
   readonly dataCentres?: readonly DataCentreId[];
   readonly entryDaemons?: number;
   readonly engines?: readonly EngineSpec[];
-  /** Ledger services, each with its endpoint daemon. */
+  /** Number of ledger stand-ins; each gets an endpoint daemon. */
   readonly ledgers?: number;
+  /** Duration of a call at a ledger stand-in. */
   readonly ledgerCallMs?: Millis;
-  /** Bounds of the endpoint daemons' admission limit. */
+  /** Bounds of the admission limit of each endpoint daemon. */
   readonly admission?: EndpointSettingsInput['admission'];
-  /** Name of the plain service; `ledger` when absent. */
+  /** Name of the service that the ledger stand-ins provide; defaults to `ledger`. */
   readonly serviceName?: string;
   readonly customers?: readonly CustomerSpec[];
   readonly policy?: EntrySettingsInput['policy'];
   readonly limits?: EntrySettingsInput['limits'];
   readonly platform?: Pick<PlatformOptions, 'appendsPerSecond' | 'retentionRecords' | 'listLagMs'>;
   readonly drainMs?: Millis;
-  /** Receiver of the notifications for operators. */
+  /** URL that receives the notifications for operators. */
   readonly webhookUrl?: string;
-  /** Port of the balancer on 127.0.0.1; 0 takes a free one. */
+  /** Port of the load balancer on 127.0.0.1; 0 selects a free port. */
   readonly port?: number;
   readonly logFormat?: 'json' | 'text';
-  /** Where the error output of the processes goes: files in the directory, or that of the caller. */
+  /** Destination of the processes' stderr: files in `directory`, or the stderr of this process. */
   readonly errorOutput?: 'files' | 'inherit';
-  /** Directory for processor profiles (`.cpuprofile`) that the processes write when they end. */
+  /** Directory for the CPU profiles (`.cpuprofile`) that the processes write when they exit. */
   readonly profileDirectory?: string;
 }
 
-/** One process of a cluster. Fields show the newest run of it. */
+/** Handle of a process of a cluster. Its fields describe the latest run of the process. */
 export interface ClusterProcess {
   readonly name: string;
   readonly role: ProcessRole;
   readonly pid: number;
   readonly urls: Readonly<Record<string, string>>;
-  /** Sends a signal that ends the process, and resolves when it has ended. */
+  /** Sends a signal, SIGKILL by default, and resolves when the process has exited. */
   readonly kill: (signal?: 'SIGTERM' | 'SIGINT' | 'SIGKILL') => Promise<ProcessExit>;
   /** Sends SIGSTOP. */
   readonly freeze: () => void;
   /** Sends SIGCONT. */
   readonly resume: () => void;
-  /** Ends the process with SIGTERM if it still runs, and starts it again with its settings. */
+  /** Stops the process with SIGTERM if it is running, and starts it with the same settings. */
   readonly restart: () => Promise<void>;
-  /** Resolves when the process has ended. */
+  /** Resolves when the process has exited. */
   readonly waitForExit: () => Promise<ProcessExit>;
 }
 
+/** Addresses of a ledger stand-in. */
 export interface LedgerUrls {
   readonly service: string;
   readonly inspection: string;
@@ -98,41 +103,47 @@
 /** Addresses of the stand-ins. */
 export interface StandinUrls {
   readonly platform: string;
-  /** By name of the engine. */
+  /** Keyed by process name of the engine. */
   readonly engines: Readonly<Record<string, string>>;
-  /** By name of the ledger. */
+  /** Keyed by process name of the ledger. */
   readonly ledgers: Readonly<Record<string, LedgerUrls>>;
 }
 
-/** An engine and the daemon beside it. */
+/** Processes of an engine stand-in and its endpoint daemon. */
 export interface EngineWithEndpoint {
   readonly engine: ClusterProcess;
   readonly endpoint: ClusterProcess;
 }
 
-/** A running system with its stand-ins, all on loopback. */
+/** A running system with its stand-ins. All processes listen on loopback. */
 export interface Cluster {
-  /** Address of the balancer before the entry daemons. */
+  /** Address of the load balancer in front of the entry daemons. */
   readonly baseUrl: string;
-  /** Callers' addresses of the entry daemons. */
+  /** Addresses at which the entry daemons serve callers. */
   readonly entryUrls: readonly string[];
-  /** Addresses for messages between daemons, by name of the daemon. */
+  /** Addresses for RPCs between daemons, keyed by process name. */
   readonly rpcUrls: Readonly<Record<string, string>>;
+  /** Address of the operator API of the first entry daemon. */
   readonly operatorUrl: string;
+  /** The first model that the cluster serves. */
   readonly model: ModelName;
-  /** Bearer keys by name of the customer. */
+  /** Bearer keys, keyed by customer id. */
   readonly customerKeys: Readonly<Record<string, string>>;
   readonly operatorKey: string;
   readonly standinUrls: StandinUrls;
-  /** Settings and error output; removed by `stop`. */
+  /** Directory of the settings files and stderr files; removed by `stop`. */
   readonly directory: string;
-  /** All processes in start order. */
+  /** All processes, in start order. */
   readonly processes: readonly ClusterProcess[];
-  /** Finds a process by its name; throws when there is none. */
+  /** Finds a process by its name; throws when no process has the name. */
   readonly findProcess: (name: string) => ClusterProcess;
+  /** Starts another engine stand-in and its endpoint daemon. */
   readonly addEngine: (spec: EngineSpec) => Promise<EngineWithEndpoint>;
-  /** Marks a daemon as leaving in the instance list, then sends SIGTERM. */
+  /**
+   * Marks a daemon as `leaving` in the instance list, then sends SIGTERM. Resolves when the daemon
+   * has exited.
+   */
   readonly drainDaemon: (name: string) => Promise<ProcessExit>;
-  /** Ends all processes in reverse start order and removes the directory. */
+  /** Stops all processes, role by role in reverse start order, and removes the directory. */
   readonly stop: () => Promise<void>;
 }
--- a/packages/cluster/watch.ts
+++ b/packages/cluster/watch.ts
@@ -1,16 +1,16 @@
-/** Newest state of the loop, and promises for states to come. */
+/** Holds the latest state of a loop, and lets callers wait for a state that meets a condition. */
 export interface Watch<State> {
   readonly publish: (state: State) => void;
-  /** Newest state; throws before the first. */
+  /** Returns the latest state; throws before the first one is published. */
   readonly get: () => State;
-  /** Resolves with the first value that `find` takes from the newest or a later state. */
+  /** Resolves with the first defined result of `find` on the latest or a later state. */
   readonly wait: <Value>(find: (state: State) => Value | undefined) => Promise<Value>;
 }
 
 /**
- * Creates a watch. Waiting needs no timer: each published state is tried once.
+ * Creates a watch. Waiting needs no timer, because every published state is checked once.
  *
- * @returns a watch without a state
+ * @returns a watch that holds no state yet
  */
 export const createWatch = <State>(): Watch<State> => {
   let latest: { readonly state: State } | undefined;
