--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -9,7 +9,7 @@
   ReadStream,
   StreamAnswer,
   StreamEnd,
-  StreamEvent,
+  ServerSentEvent,
   StreamProgress,
 } from './types.js';
 import { createWatch } from '../watch.js';
@@ -26,13 +26,13 @@
   requestId: z.string(),
 });
 
-/** Progress of a stream, with its end once it has one. */
-interface Reading extends StreamProgress {
+/** Progress of a stream, and how it ended once it has. */
+interface StreamState extends StreamProgress {
   readonly end: StreamEnd | undefined;
   readonly firstChunkMs: number | undefined;
 }
 
-const UNREAD: Reading = {
+const INITIAL_STATE: StreamState = {
   texts: [],
   lastEventId: undefined,
   end: undefined,
@@ -42,29 +42,29 @@
 /**
  * Parses a problem document.
  *
- * @param text - JSON
- * @returns its fields
- * @throws Error when the text is no problem document
+ * @param text - problem document as JSON
+ * @returns the fields that callers use
+ * @throws Error when the text is not a problem document
  */
 export const parseProblem = (text: string): ProblemFields => PROBLEM_SCHEMA.parse(JSON.parse(text));
 
-const readTexts = (data: string): readonly string[] =>
+const parseChunkTexts = (data: string): readonly string[] =>
   CHUNK_SCHEMA.parse(JSON.parse(data)).choices.flatMap(({ delta }) => {
     const content = delta?.content ?? '';
     return content === '' ? [] : [content];
   });
 
-const applyEvent = (reading: Reading, event: StreamEvent, ageMs: number): Reading => {
+const applyEvent = (state: StreamState, event: ServerSentEvent, elapsedMs: number): StreamState => {
   if (event.event === 'error') {
-    return { ...reading, end: { kind: 'failed', problem: parseProblem(event.data) } };
+    return { ...state, end: { kind: 'failed', problem: parseProblem(event.data) } };
   }
-  if (event.data === '[DONE]') return { ...reading, end: { kind: 'done' } };
-  const texts = readTexts(event.data);
+  if (event.data === '[DONE]') return { ...state, end: { kind: 'done' } };
+  const texts = parseChunkTexts(event.data);
   return {
-    ...reading,
-    texts: texts.length === 0 ? reading.texts : [...reading.texts, ...texts],
-    lastEventId: event.id ?? reading.lastEventId,
-    firstChunkMs: reading.firstChunkMs ?? ageMs,
+    ...state,
+    texts: texts.length === 0 ? state.texts : [...state.texts, ...texts],
+    lastEventId: event.id ?? state.lastEventId,
+    firstChunkMs: state.firstChunkMs ?? elapsedMs,
   };
 };
 
@@ -87,12 +87,12 @@
   });
 
 /**
- * Opens a stream at the callers' interface, or goes on with one.
+ * Opens a stream at the caller API, or resumes one.
  *
  * @param target - address and key
- * @param options - model and prompt; with a last event id the stream is resumed
- * @returns the stream, or the refusal
- * @throws Error when nothing answers
+ * @param options - model and prompt; with `lastEventId` the stream resumes after that event
+ * @returns handle of the stream, or the refusal
+ * @throws Error when no answer is received
  */
 export const openStream = async (
   target: CallerTarget,
@@ -103,57 +103,57 @@
     method: 'POST',
     headers: buildHeaders(target, options),
     body: buildBody(options),
-    // A connection of its own: a caller that leaves must not disturb another.
+    // Uses a separate connection, so that closing the stream does not affect other requests.
     reset: true,
   });
   const { statusCode: status } = answer;
   if (status !== 200) {
     return { kind: 'refused', status, problem: parseProblem(await answer.body.text()) };
   }
-  return readAnswer(answer, startedAt);
+  return createStreamHandle(answer, startedAt);
 };
 
-const readAnswer = (
+const createStreamHandle = (
   answer: Dispatcher.ResponseData,
   startedAt: number,
 ): Extract<StreamAnswer, { kind: 'stream' }> => {
-  const watch = createWatch<Reading>();
-  watch.publish(UNREAD);
+  const watch = createWatch<StreamState>();
+  watch.publish(INITIAL_STATE);
   const parser = createParser({
     onEvent: ({ id, event, data }) => {
       watch.publish(applyEvent(watch.get(), { id, event, data }, performance.now() - startedAt));
     },
   });
   const finish = (reason: string): void => {
-    const reading = watch.get();
-    watch.publish({ ...reading, end: reading.end ?? { kind: 'cut', reason } });
+    const state = watch.get();
+    watch.publish({ ...state, end: state.end ?? { kind: 'cut', reason } });
   };
   const decoder = new TextDecoder();
   answer.body.on('data', (bytes: Buffer) => {
     parser.feed(decoder.decode(bytes, { stream: true }));
   });
   answer.body.once('end', () => {
-    finish('the connection ended without an end mark');
+    finish('the connection ended before the end-of-stream marker');
   });
   answer.body.once('error', (error) => {
     finish(error.message);
   });
   answer.body.once('close', () => {
-    finish('the caller left');
+    finish('the caller closed the connection');
   });
   const requestId = answer.headers['x-request-id'];
   return {
     kind: 'stream',
     requestId: typeof requestId === 'string' ? requestId : '',
     waitForChunks: (count) =>
-      watch.wait((reading) =>
-        reading.texts.length >= count || reading.end !== undefined ? reading : undefined,
+      watch.wait((state) =>
+        state.texts.length >= count || state.end !== undefined ? state : undefined,
       ),
     read: () =>
-      watch.wait((reading): ReadStream | undefined =>
-        reading.end === undefined ? undefined : { ...reading, end: reading.end },
+      watch.wait((state): ReadStream | undefined =>
+        state.end === undefined ? undefined : { ...state, end: state.end },
       ),
-    leave: () => {
+    close: () => {
       answer.body.destroy();
     },
   };
--- a/packages/cluster/cluster.ts
+++ b/packages/cluster/cluster.ts
@@ -5,11 +5,11 @@
 import type { ClusterPlan, PlannedEndpoint } from './plan.js';
 import type { ProcessControl } from './processes/control.js';
 import type { ProcessRole, ProcessState, Urls } from './processes/types.js';
-import { writeEndpoint } from './settingsFiles.js';
+import { writeEndpointSettings } from './settingsFiles.js';
 import type { SettingsContext } from './settingsFiles.js';
-import type { Cluster, ClusterProcess, EnginePair, StandinUrls } from './types.js';
+import type { Cluster, ClusterProcess, EngineWithEndpoint, StandinUrls } from './types.js';
 
-/** Parts of a started cluster. */
+/** Components of a started cluster. */
 export interface ClusterParts {
   readonly plan: ClusterPlan;
   readonly context: SettingsContext;
@@ -17,7 +17,7 @@
   readonly balancer: Balancer;
 }
 
-/** Roles in the order in which their processes end; callers are let go first. */
+/** Roles in stop order; entry daemons stop first, so that callers are released. */
 const STOP_ORDER: readonly ProcessRole[] = ['entry', 'endpoint', 'ledger', 'engine', 'platform'];
 
 const findState = (control: ProcessControl, name: string): ProcessState => {
@@ -30,10 +30,10 @@
   [...control.getTable().values()].filter(({ spec }) => spec.role === role);
 
 /**
- * Lists the callers' addresses of the entry daemons that take connections.
+ * Lists the caller addresses of the entry daemons that are ready.
  *
- * @param control - processes
- * @returns the addresses; a frozen or stopping daemon is left out, as after a failed health check
+ * @param control - processes of the cluster
+ * @returns addresses without those of frozen or stopping daemons, as after a failed health check
  */
 export const listCallerUrls = (control: ProcessControl): readonly string[] =>
   listStates(control, 'entry')
@@ -41,10 +41,11 @@
     .map(({ urls }) => urls['callers'] ?? '');
 
 /**
- * Ends the processes of a cluster in reverse start order.
+ * Stops the processes of a cluster, role by role in reverse start order, and its loop, and removes
+ * its directory.
  *
- * @param control - processes
- * @param context - drain time of the daemons, and the directory, which is removed
+ * @param control - processes of the cluster
+ * @param context - drain time of the daemons, and the directory of the cluster
  */
 export const stopProcesses = async (
   control: ProcessControl,
@@ -53,7 +54,7 @@
   const withinMs = (options.drainMs ?? CLUSTER_DRAIN_MS) + STOP_MARGIN_MS;
   for (const role of STOP_ORDER) {
     const running = listStates(control, role).filter(({ phase }) => phase !== 'exited');
-    await control.end(
+    await control.stop(
       running.map(({ spec }) => spec.name),
       withinMs,
     );
@@ -62,7 +63,7 @@
   rmSync(directory, { recursive: true, force: true });
 };
 
-const createProcess = (
+const createProcessHandle = (
   control: ProcessControl,
   { spec: { name, role } }: ProcessState,
 ): ClusterProcess => {
@@ -109,29 +110,32 @@
   })),
 });
 
-/** Starts one more engine with its endpoint daemon. */
+/** Starts an engine and its endpoint daemon. */
 const startEngine = async (
   { context, control }: ClusterParts,
   planned: PlannedEndpoint,
-): Promise<EnginePair> => {
+): Promise<EngineWithEndpoint> => {
   const [engine] = await control.start([planned.standin]);
   if (engine === undefined) throw new Error('the engine did not start');
-  const [endpoint] = await control.start([writeEndpoint(planned, engine.urls, context)]);
+  const [endpoint] = await control.start([writeEndpointSettings(planned, engine.urls, context)]);
   if (endpoint === undefined) throw new Error('the endpoint daemon did not start');
-  return { engine: createProcess(control, engine), endpoint: createProcess(control, endpoint) };
+  return {
+    engine: createProcessHandle(control, engine),
+    endpoint: createProcessHandle(control, endpoint),
+  };
 };
 
 /**
  * Creates the handle of a started cluster.
  *
- * @param parts - processes, settings and balancer
+ * @param parts - components of the cluster
  * @returns the handle
  */
 export const createCluster = (parts: ClusterParts): Cluster => {
   const { plan, context, control, balancer } = parts;
   const { keys, directory } = context;
   const listEntries = (): readonly ProcessState[] => listStates(control, 'entry');
-  let numbering = {
+  let counts = {
     engines: listStates(control, 'engine').length,
     endpoints: plan.endpoints.length,
   };
@@ -157,15 +161,15 @@
     },
     directory,
     get processes() {
-      return [...control.getTable().values()].map((state) => createProcess(control, state));
+      return [...control.getTable().values()].map((state) => createProcessHandle(control, state));
     },
-    findProcess: (name) => createProcess(control, findState(control, name)),
+    findProcess: (name) => createProcessHandle(control, findState(control, name)),
     addEngine: (spec) => {
-      const planned = planEngine(spec, numbering, plan.dataCentres);
-      numbering = { engines: numbering.engines + 1, endpoints: numbering.endpoints + 1 };
+      const planned = planEngine(spec, counts, plan.dataCentres);
+      counts = { engines: counts.engines + 1, endpoints: counts.endpoints + 1 };
       return startEngine(parts, planned);
     },
-    leave: (name) => {
+    drainDaemon: (name) => {
       control.post({ kind: 'leave', name });
       return control.waitForExit(name);
     },
--- a/packages/cluster/loadCluster.ts
+++ b/packages/cluster/loadCluster.ts
@@ -9,7 +9,7 @@
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 100;
 
-const toOptions = (scenario: Scenario, policy: LoadPolicy): ClusterOptions => {
+const toClusterOptions = (scenario: Scenario, policy: LoadPolicy): ClusterOptions => {
   const { deployment, customers } = scenario;
   const [service] = deployment.services;
   return {
@@ -31,7 +31,7 @@
   };
 };
 
-/** Publishes one record based on what is in force now. */
+/** Publishes a configuration record based on the current offset of its entity. */
 const publishRecord = async (
   cluster: Cluster,
   kind: string,
@@ -46,14 +46,15 @@
   const { entities } = (await current.body.json()) as {
     readonly entities: readonly { kind: string; entity: string; offset: number }[];
   };
-  const known = entities.find((entry) => entry.kind === kind && entry.entity === entity);
+  const existing = entities.find((entry) => entry.kind === kind && entry.entity === entity);
   const answer = await request(`${cluster.operatorUrl}/operator/records`, {
     method: 'POST',
     headers,
-    body: JSON.stringify({ kind, entity, basedOn: known?.offset ?? null, body }),
+    body: JSON.stringify({ kind, entity, basedOn: existing?.offset ?? null, body }),
   });
   const text = await answer.body.text();
-  if (answer.statusCode !== 200) throw new Error(`${kind} ${entity} was refused: ${text}`);
+  if (answer.statusCode !== 200)
+    throw new Error(`the entry daemon refused record ${kind} ${entity}: ${text}`);
 };
 
 const publishTargets = async (cluster: Cluster, scenario: Scenario): Promise<void> => {
@@ -61,7 +62,7 @@
   await publishRecord(cluster, 'targets', 'targets', { classes });
 };
 
-const performOperation = (cluster: Cluster, action: OperatorAction): Promise<void> => {
+const performOperatorAction = (cluster: Cluster, action: OperatorAction): Promise<void> => {
   switch (action.kind) {
     case 'take-out':
       return publishRecord(cluster, 'data-centre', action.dataCentre, { state: 'out' });
@@ -106,31 +107,32 @@
   return answer.statusCode === 200;
 };
 
-/** Waits until every daemon takes work, so that a run does not begin with cold endpoints. */
+/** Waits until every daemon is ready, so that no run starts with cold endpoints. */
 const waitForReady = async (cluster: Cluster): Promise<void> => {
   const deadline = Date.now() + READY_TIMEOUT_MS;
   for (const process of cluster.processes) {
     const url = process.urls['callers'] ?? process.urls['http'];
     if (url === undefined) continue;
     while (!(await isReady(url))) {
-      if (Date.now() > deadline) throw new Error(`${process.name} did not get ready`);
+      if (Date.now() > deadline) throw new Error(`${process.name} did not become ready in time`);
       await sleep(READY_POLL_MS);
     }
   }
 };
 
 /**
- * Starts a cluster of processes for one run of a scenario, with the scenario's targets in force.
+ * Starts a cluster of processes for one run of a scenario and publishes the scenario's targets.
  *
  * @param scenario - deployment, customers and classes
  * @param policy - placement policy of the entry daemons
- * @returns the cluster under its ids of the scenario
+ * @returns the cluster, with engines and services keyed by their ids in the scenario
+ * @throws Error when a process fails to start or become ready, or the targets are refused
  */
 export const startLoadCluster = async (
   scenario: Scenario,
   policy: LoadPolicy,
 ): Promise<RunningCluster> => {
-  const cluster = await startCluster(toOptions(scenario, policy));
+  const cluster = await startCluster(toClusterOptions(scenario, policy));
   try {
     await publishTargets(cluster, scenario);
     await waitForReady(cluster);
@@ -158,7 +160,7 @@
     ),
     platformUrl: platform,
     applyFault: (process, fault) => applyFault(cluster, process, fault),
-    operate: (action) => performOperation(cluster, action),
+    operate: (action) => performOperatorAction(cluster, action),
     close: cluster.stop,
   };
 };
--- a/packages/cluster/notRun.promise.test.ts
+++ b/packages/cluster/notRun.promise.test.ts
@@ -3,7 +3,7 @@
 import { countExecutions } from './callers/standinPages.js';
 import type { CallerTarget, ServiceCall } from './callers/types.js';
 import { startCluster } from './startCluster.js';
-import { buildCaller, fetchStats, getInspectionUrl } from './testing.js';
+import { buildCallerTarget, fetchStats, getInspectionUrl } from './testing.js';
 import type { Cluster } from './types.js';
 
 const MAX_BODY_BYTES = 4_096;
@@ -20,7 +20,7 @@
   readonly name: string;
   readonly status: number;
   readonly code: string;
-  /** What the error must name. */
+  /** Pattern of the problem's `detail`. */
   readonly detail: RegExp;
   readonly call: ServiceCall;
   readonly key?: string;
@@ -37,7 +37,7 @@
   const sweep = { method: 'POST', path: '/services/ledger/sweeps' } as const;
   const large = 'x'.repeat(MAX_BODY_BYTES + 1);
   const largeBody = buildChat({ messages: [{ role: 'user', content: large }] });
-  const oldKey = { 'idempotency-key-issued-at': '2001-01-01T00:00:00Z' };
+  const expiredKeyHeaders = { 'idempotency-key-issued-at': '2001-01-01T00:00:00Z' };
   return [
     {
       name: 'malformed JSON',
@@ -109,7 +109,7 @@
       status: 400,
       code: 'key-expired',
       detail: /^the key was issued before/,
-      call: { ...sweep, idempotencyKey: 'refused', body: {}, headers: oldKey },
+      call: { ...sweep, idempotencyKey: 'refused', body: {}, headers: expiredKeyHeaders },
     },
     {
       name: 'empty idempotency key',
@@ -132,11 +132,11 @@
   ];
 };
 
-// Guards against errors that do not say whether the request ran, and against refusals of requests
-// that then run all the same.
+// Guards against errors that do not say whether the request ran, and against refused requests that
+// run nevertheless.
 test.serial('bad input is refused as not-run, with its code, and nothing runs', async (t) => {
   const engineUrl = Object.values(cluster.standinUrls.engines)[0] ?? '';
-  const caller: CallerTarget = buildCaller(cluster);
+  const caller: CallerTarget = buildCallerTarget(cluster);
   for (const { name, status, code, detail, call, key } of listBadInputs()) {
     const answer = await sendCall({ ...caller, key: key ?? caller.key }, call);
     t.is(answer.status, status, `${name}: ${answer.text}`);
@@ -147,7 +147,7 @@
     t.is(requestId, answer.requestId, name);
     t.not(requestId, '', name);
   }
-  // A ticket names a generation that ran, so its refusal promises nothing about that generation.
+  // A ticket refers to a generation that was started, so its refusal must not claim `not-run`.
   const resume = { method: 'POST', path: '/v1/chat/completions', body: buildChat() } as const;
   const resumed = await sendCall(caller, { ...resume, headers: { 'last-event-id': 'nonsense' } });
   t.like(resumed.json, { verdict: 'may-have-run', code: 'bad-request', status: 400 });
@@ -157,14 +157,14 @@
   t.is(await countExecutions(getInspectionUrl(cluster), 'refused'), 0);
 });
 
-// Guards against a request id that differs between the caller's log and ours.
-test.serial('the request id of the caller comes back', async (t) => {
+// Guards against a request id that differs between the caller's log and that of the entry daemon.
+test.serial('an answer carries the request id of the caller', async (t) => {
   const call: ServiceCall = {
     method: 'GET',
     path: '/services/ledger/balances/caroni',
     headers: { 'x-request-id': 'request-of-the-caller' },
   };
-  const answer = await sendCall(buildCaller(cluster), call);
+  const answer = await sendCall(buildCallerTarget(cluster), call);
   t.is(answer.status, 200, answer.text);
   t.is(answer.requestId, 'request-of-the-caller');
 });
--- a/packages/cluster/plan.ts
+++ b/packages/cluster/plan.ts
@@ -11,7 +11,7 @@
 import type { ClusterOptions, EngineSpec, EngineStandinOptions } from './types.js';
 import type { DataCentreId, ModelName, VersionName } from '../core/ids.js';
 
-/** What an endpoint daemon stands before. */
+/** Engine or service that an endpoint daemon serves. */
 export type EndpointTarget =
   | {
       readonly kind: 'model';
@@ -21,20 +21,22 @@
     }
   | { readonly kind: 'service'; readonly service: string; readonly version: VersionName };
 
-/** A stand-in with the endpoint daemon beside it. */
+/** A stand-in and the endpoint daemon that serves it. */
 export interface PlannedEndpoint {
   readonly standin: ProcessSpec;
+  /** Process name of the endpoint daemon. */
   readonly endpoint: string;
   readonly dataCentre: DataCentreId;
   readonly target: EndpointTarget;
 }
 
+/** An entry daemon. */
 export interface PlannedEntry {
   readonly name: string;
   readonly dataCentre: DataCentreId;
 }
 
-/** Everything that a cluster starts, in start order. */
+/** All processes that a cluster starts, in start order. */
 export interface ClusterPlan {
   readonly platform: ProcessSpec;
   readonly endpoints: readonly PlannedEndpoint[];
@@ -43,12 +45,13 @@
   readonly models: readonly ModelName[];
 }
 
-/** Number of processes of each kind, from which the next names come. */
-export interface Numbering {
+/** Numbers of planned processes; the names of further ones continue from them. */
+export interface ProcessCounts {
   readonly engines: number;
   readonly endpoints: number;
 }
 
+/** Converts options to command-line flags: `{ warmUpMs: 5 }` becomes `--warm-up-ms 5`. */
 const toFlags = (options: object): readonly string[] =>
   Object.entries(options).flatMap(([name, value]) => {
     if (value === undefined) return [];
@@ -71,14 +74,14 @@
 /**
  * Plans an engine and its endpoint daemon.
  *
- * @param spec - model, version, place and start options
- * @param numbering - processes that exist
- * @param dataCentres - data centres that are taken in turn
- * @returns the plan
+ * @param spec - model, version, data centre and options of the stand-in
+ * @param counts - processes planned so far
+ * @param dataCentres - data centres to assign round-robin when `spec` names none
+ * @returns the engine and its endpoint daemon
  */
 export const planEngine = (
   spec: EngineSpec,
-  numbering: Numbering,
+  counts: ProcessCounts,
   dataCentres: readonly DataCentreId[],
 ): PlannedEndpoint => {
   const model = spec.model ?? DEFAULT_MODEL;
@@ -86,31 +89,26 @@
   const { fencing = 'checked', ...rest }: EngineStandinOptions = spec.standin ?? {};
   const options = { model, version, fencing, ...rest };
   return {
-    standin: buildStandin(
-      'engine',
-      'engine',
-      `engine-${(numbering.engines + 1).toString()}`,
-      options,
-    ),
-    endpoint: `endpoint-${(numbering.endpoints + 1).toString()}`,
-    dataCentre: spec.dataCentre ?? pickInTurn(dataCentres, numbering.engines),
+    standin: buildStandin('engine', 'engine', `engine-${(counts.engines + 1).toString()}`, options),
+    endpoint: `endpoint-${(counts.endpoints + 1).toString()}`,
+    dataCentre: spec.dataCentre ?? pickRoundRobin(dataCentres, counts.engines),
     target: { kind: 'model', model, version, fencing },
   };
 };
 
-const pickInTurn = (dataCentres: readonly DataCentreId[], index: number): DataCentreId =>
+const pickRoundRobin = (dataCentres: readonly DataCentreId[], index: number): DataCentreId =>
   dataCentres[index % dataCentres.length] ?? DEFAULT_DATA_CENTRES[0];
 
 const planLedger = (
   index: number,
-  endpoints: number,
+  endpointCount: number,
   dataCentres: readonly DataCentreId[],
   service: string,
   options: object,
 ): PlannedEndpoint => ({
   standin: buildStandin('service', 'ledger', `ledger-${(index + 1).toString()}`, options),
-  endpoint: `endpoint-${(endpoints + 1).toString()}`,
-  dataCentre: pickInTurn(dataCentres, index),
+  endpoint: `endpoint-${(endpointCount + 1).toString()}`,
+  dataCentre: pickRoundRobin(dataCentres, index),
   target: { kind: 'service', service, version: DEFAULT_VERSION },
 });
 
@@ -118,10 +116,10 @@
   Array.from({ length }, (_, index) => index);
 
 /**
- * Plans a cluster: names, places and the arguments of the stand-ins.
+ * Plans a cluster: process names, data centres and the arguments of the stand-ins.
  *
- * @param options - what the cluster consists of
- * @returns the plan; the settings of the daemons follow once the stand-ins serve
+ * @param options - options of the cluster
+ * @returns the plan; the daemons' settings need the addresses of the started stand-ins and follow
  */
 export const planCluster = (options: ClusterOptions): ClusterPlan => {
   const dataCentres = options.dataCentres ?? DEFAULT_DATA_CENTRES;
@@ -140,7 +138,7 @@
     endpoints: [...engines, ...ledgers],
     entries: buildRange(options.entryDaemons ?? DEFAULT_ENTRY_DAEMONS).map((index) => ({
       name: `entry-${(index + 1).toString()}`,
-      dataCentre: pickInTurn(dataCentres, index),
+      dataCentre: pickRoundRobin(dataCentres, index),
     })),
     dataCentres,
     models: [...new Set(models)],
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -9,8 +9,8 @@
   ProcessTable,
   ProcessesEvent,
 } from './types.js';
-import { createListClient } from '../instances/listClient.js';
-import type { ListClient } from '../instances/listClient.js';
+import { createInstanceListClient } from '../instances/listClient.js';
+import type { InstanceListClient } from '../instances/listClient.js';
 import { checkReadiness } from '../instances/readiness.js';
 import { listClusterChildren } from '../supervisor.js';
 import { createWatch } from '../watch.js';
@@ -20,16 +20,20 @@
 import type { Loop } from '../../core/loop/types.js';
 import { createRoutedDaemon } from '../../standins/common/routedDaemon.js';
 
-/** Orders to the processes of a cluster, as promises over the loop. */
+/** Promise-based control of the processes of a cluster, on top of its event loop. */
 export interface ProcessControl {
   readonly getTable: () => ProcessTable;
   readonly post: (event: ProcessesEvent) => void;
-  /** Starts processes together; resolves when all are ready, rejects when one is not. */
+  /** Starts processes together; resolves when all are ready, rejects when one fails to start. */
   readonly start: (specs: readonly ProcessSpec[]) => Promise<readonly ProcessState[]>;
+  /** Resolves when the process has exited. */
   readonly waitForExit: (name: string) => Promise<ProcessExit>;
-  /** Sends SIGTERM, and SIGKILL to what is left after a time. */
-  readonly end: (names: readonly string[], withinMs: Millis) => Promise<void>;
-  /** Ends the loop, once the instance list has taken all changes. */
+  /**
+   * Sends SIGTERM to processes, and after `withinMs` SIGKILL to those that are still running.
+   * Resolves when all have exited.
+   */
+  readonly stop: (names: readonly string[], withinMs: Millis) => Promise<void>;
+  /** Stops the loop after the instance list has answered all changes. */
   readonly close: () => Promise<void>;
 }
 
@@ -37,12 +41,13 @@
   readonly directory: string;
   readonly errorOutput: 'files' | 'inherit';
   readonly profileDirectory?: string | undefined;
+  /** Process name of the platform stand-in. */
   readonly platformName: string;
 }
 
 interface Adapters {
   readonly launcher: Launcher;
-  readonly instances: ListClient;
+  readonly instances: InstanceListClient;
   readonly post: (event: ProcessesEvent) => void;
 }
 
@@ -66,10 +71,10 @@
       return;
     }
     case 'list-instance':
-      instances.list(effect);
+      instances.register(effect);
       return;
     case 'unlist-instance':
-      instances.unlist(effect);
+      instances.deregister(effect);
       return;
     case 'schedule':
       loop.schedule(effect.delayMs, effect.event);
@@ -79,20 +84,25 @@
   }
 };
 
-const isStarted = ({ phase }: ProcessState): boolean => phase === 'ready' || phase === 'exited';
+const isStartFinished = ({ phase }: ProcessState): boolean =>
+  phase === 'ready' || phase === 'exited';
 
 const describeFailedStart = (state: ProcessState, errorOutput: string): string => {
   const { spec, exit, problem } = state;
-  const end = exit?.signal ?? `code ${String(exit?.code)}`;
-  const lines = [`${spec.name} did not start: it ended with ${end}`, problem ?? '', errorOutput];
+  const outcome = exit?.signal ?? `code ${String(exit?.code)}`;
+  const lines = [
+    `${spec.name} did not start: it ended with ${outcome}`,
+    problem ?? '',
+    errorOutput,
+  ];
   return lines.filter((line) => line !== '').join('\n');
 };
 
 /**
- * Creates the loop that owns the processes of a cluster, with its adapters.
+ * Creates and starts the loop that owns the processes of a cluster, with its adapters.
  *
- * @param options - directory, error output and the name of the platform stand-in
- * @returns the running loop
+ * @param options - directories, destination of stderr and name of the platform stand-in
+ * @returns control of the processes
  */
 export const createProcessControl = (options: ProcessControlOptions): ProcessControl => {
   const watch = createWatch<ProcessTable>();
@@ -102,7 +112,7 @@
   const launcher = createLauncher({ ...options, post });
   const getPlatformUrl = (): string =>
     watch.get().get(options.platformName)?.urls['platform'] ?? '';
-  const instances = createListClient({ getPlatformUrl, post });
+  const instances = createInstanceListClient({ getPlatformUrl, post });
   const adapters = { launcher, instances, post };
   const daemon = createRoutedDaemon<ClusterEvent, ClusterEffect>({
     name: 'cluster',
@@ -114,12 +124,14 @@
   });
   daemon.start();
 
-  const startOne = async (spec: ProcessSpec): Promise<ProcessState> => {
-    const before = watch.get().get(spec.name)?.run ?? 0;
+  const startAndWait = async (spec: ProcessSpec): Promise<ProcessState> => {
+    const previousRun = watch.get().get(spec.name)?.run ?? 0;
     post({ kind: 'start', spec });
     const state = await watch.wait((table) => {
       const found = table.get(spec.name);
-      return found !== undefined && found.run > before && isStarted(found) ? found : undefined;
+      return found !== undefined && found.run > previousRun && isStartFinished(found)
+        ? found
+        : undefined;
     });
     if (state.phase === 'ready') return state;
     throw new Error(describeFailedStart(state, launcher.readErrorOutput(spec.name)));
@@ -128,7 +140,7 @@
   const waitForExit = (name: string): Promise<ProcessExit> =>
     watch.wait((table) => table.get(name)?.exit ?? undefined);
 
-  const end = async (names: readonly string[], withinMs: Millis): Promise<void> => {
+  const stopAll = async (names: readonly string[], withinMs: Millis): Promise<void> => {
     for (const name of names) post({ kind: 'signal', name, signal: 'SIGTERM' });
     const timer = setTimeout(() => {
       for (const name of names) post({ kind: 'signal', name, signal: 'SIGKILL' });
@@ -140,9 +152,9 @@
   return {
     getTable: watch.get,
     post,
-    start: (specs) => Promise.all(specs.map(startOne)),
+    start: (specs) => Promise.all(specs.map(startAndWait)),
     waitForExit,
-    end,
+    stop: stopAll,
     close: async () => {
       await instances.waitUntilIdle();
       daemon.stop();
--- a/packages/cluster/settingsFiles.ts
+++ b/packages/cluster/settingsFiles.ts
@@ -4,18 +4,24 @@
 import { hashKey } from './keys.js';
 import type { EndpointTarget, PlannedEndpoint, PlannedEntry } from './plan.js';
 import type { Listing, ProcessSpec, Urls } from './processes/types.js';
-import type { ClusterOptions, CustomerSpec, EndpointFile, EntryFile } from './types.js';
+import type {
+  ClusterOptions,
+  CustomerSpec,
+  EndpointSettingsInput,
+  EntrySettingsInput,
+} from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { ModelName } from '../core/ids.js';
 
-/** Bearer keys and the secret of a cluster; settings files hold only the hashes of keys. */
+/** Bearer keys and ticket secret of a cluster. Settings files contain only hashes of bearer keys. */
 export interface ClusterKeys {
   readonly customers: readonly (CustomerSpec & { readonly key: string })[];
   readonly operatorKey: string;
+  /** Secret that signs resume tickets. */
   readonly ticketKey: string;
 }
 
-/** What the settings files of all daemons of a cluster share. */
+/** Inputs shared by the settings files of all daemons of a cluster. */
 export interface SettingsContext {
   readonly directory: string;
   readonly platformUrl: string;
@@ -24,25 +30,25 @@
   readonly options: ClusterOptions;
 }
 
-const FREE_PORT = { host: '127.0.0.1', port: 0 } as const;
+const FREE_LOOPBACK_PORT = { host: '127.0.0.1', port: 0 } as const;
 
-const LEDGER_ROUTES: NonNullable<EntryFile['services']>[number]['routes'] = [
+const LEDGER_ROUTES: NonNullable<EntrySettingsInput['services']>[number]['routes'] = [
   { method: 'GET', path: '/balances/{account}', repeat: 'allowed' },
   { method: 'POST', path: '/sweeps', repeat: 'never' },
   { method: 'POST', path: '/pickups', repeat: 'never' },
   { method: 'POST', path: '/credits', repeat: 'never' },
 ];
 
-const toInstance = (name: string): string => `instance-${name}`;
+const toInstanceId = (name: string): string => `instance-${name}`;
 
-const buildEntryFile = (entry: PlannedEntry, context: SettingsContext): EntryFile => {
+const buildEntrySettings = (entry: PlannedEntry, context: SettingsContext): EntrySettingsInput => {
   const { platformUrl, keys, models, options } = context;
   return {
     process: entry.name,
-    instance: toInstance(entry.name),
+    instance: toInstanceId(entry.name),
     dataCentre: entry.dataCentre,
-    callers: FREE_PORT,
-    rpc: FREE_PORT,
+    callers: FREE_LOOPBACK_PORT,
+    rpc: FREE_LOOPBACK_PORT,
     platform: { logUrl: platformUrl, listUrl: platformUrl, weightsUrl: platformUrl },
     ticketKey: keys.ticketKey,
     customers: keys.customers.map(({ key, ...customer }) => ({
@@ -60,7 +66,7 @@
   };
 };
 
-const buildTarget = (target: EndpointTarget, urls: Urls): EndpointFile['target'] => {
+const buildTarget = (target: EndpointTarget, urls: Urls): EndpointSettingsInput['target'] => {
   switch (target.kind) {
     case 'model':
       return { ...target, engineUrl: urls['engine'] ?? '' };
@@ -71,17 +77,17 @@
   }
 };
 
-const buildEndpointFile = (
+const buildEndpointSettings = (
   planned: PlannedEndpoint,
   standinUrls: Urls,
   context: SettingsContext,
-): EndpointFile => ({
+): EndpointSettingsInput => ({
   process: planned.endpoint,
-  instance: toInstance(planned.endpoint),
+  instance: toInstanceId(planned.endpoint),
   endpoint: planned.endpoint,
   dataCentre: planned.dataCentre,
-  http: FREE_PORT,
-  rpc: FREE_PORT,
+  http: FREE_LOOPBACK_PORT,
+  rpc: FREE_LOOPBACK_PORT,
   platform: { listUrl: context.platformUrl },
   target: buildTarget(planned.target, standinUrls),
   ...(context.options.admission === undefined ? {} : { admission: context.options.admission }),
@@ -89,7 +95,7 @@
   log: { format: context.options.logFormat ?? 'json' },
 });
 
-const toListedTarget = (target: EndpointTarget): Partial<Listing> => {
+const toTargetListing = (target: EndpointTarget): Partial<Listing> => {
   const { version } = target;
   switch (target.kind) {
     case 'model':
@@ -118,42 +124,42 @@
 /**
  * Writes the settings file of an entry daemon.
  *
- * @param entry - name and place
- * @param context - what all daemons share
- * @returns the process that runs with the file
+ * @param entry - name and data centre of the daemon
+ * @param context - inputs shared by all daemons
+ * @returns specification of the process that runs with the file
  */
-export const writeEntry = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
-  const file = writeSettings(context.directory, entry.name, buildEntryFile(entry, context));
+export const writeEntrySettings = (entry: PlannedEntry, context: SettingsContext): ProcessSpec => {
+  const file = writeSettings(context.directory, entry.name, buildEntrySettings(entry, context));
   return {
     kind: 'daemon',
     role: 'entry',
     name: entry.name,
     argv: toRunArguments('entry', file),
-    listing: { id: toInstance(entry.name), dataCentre: entry.dataCentre },
+    listing: { id: toInstanceId(entry.name), dataCentre: entry.dataCentre },
   };
 };
 
 /**
  * Writes the settings file of an endpoint daemon.
  *
- * @param planned - name, place and what the daemon stands before
+ * @param planned - name, data centre and target of the daemon
  * @param standinUrls - addresses that its stand-in printed
- * @param context - what all daemons share
- * @returns the process that runs with the file
+ * @param context - inputs shared by all daemons
+ * @returns specification of the process that runs with the file
  */
-export const writeEndpoint = (
+export const writeEndpointSettings = (
   planned: PlannedEndpoint,
   standinUrls: Urls,
   context: SettingsContext,
 ): ProcessSpec => {
   const { endpoint: name, dataCentre, target } = planned;
-  const content = buildEndpointFile(planned, standinUrls, context);
+  const content = buildEndpointSettings(planned, standinUrls, context);
   const file = writeSettings(context.directory, name, content);
   return {
     kind: 'daemon',
     role: 'endpoint',
     name,
     argv: toRunArguments('endpoint', file),
-    listing: { id: toInstance(name), dataCentre, ...toListedTarget(target) },
+    listing: { id: toInstanceId(name), dataCentre, ...toTargetListing(target) },
   };
 };
