--- a/packages/load/arrivals/buildArrivals.ts
+++ b/packages/load/arrivals/buildArrivals.ts
@@ -44,10 +44,10 @@
 
 const pickCustomer = (customers: readonly LoadCustomer[], random: RandomSource): string => {
   const total = customers.reduce((sum, { share }) => sum + share, 0);
-  let left = random.next() * total;
+  let remaining = random.next() * total;
   for (const { id, share } of customers) {
-    left -= share;
-    if (left < 0) return id;
+    remaining -= share;
+    if (remaining < 0) return id;
   }
   return (customers.at(-1) as LoadCustomer).id;
 };
--- a/packages/load/arrivals/lengths.ts
+++ b/packages/load/arrivals/lengths.ts
@@ -1,8 +1,8 @@
-import type { Lengths } from '../scenario/types.js';
+import type { LengthDistribution } from '../scenario/types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { RandomSource } from '../../core/random.js';
 
-const toTokens = (value: number, min: number, max: number): number =>
+const toTokenCount = (value: number, min: number, max: number): number =>
   Math.round(Math.min(max, Math.max(min, value)));
 
 /** Draws from the standard normal distribution by the Box-Muller transform. */
@@ -12,25 +12,27 @@
 /**
  * Draws a length.
  *
- * @param lengths - distribution
+ * @param distribution - distribution
  * @param random - source of chance
  * @returns tokens
  */
-export const sampleLength = (lengths: Lengths, random: RandomSource): number => {
-  switch (lengths.kind) {
+export const sampleLength = (distribution: LengthDistribution, random: RandomSource): number => {
+  switch (distribution.kind) {
     case 'constant':
-      return lengths.tokens;
+      return distribution.tokens;
     case 'uniform':
-      return lengths.min + Math.floor(random.next() * (lengths.max - lengths.min + 1));
+      return (
+        distribution.min + Math.floor(random.next() * (distribution.max - distribution.min + 1))
+      );
     case 'log-normal': {
-      const { median, sigma, min, max } = lengths;
-      return toTokens(median * Math.exp(sigma * sampleNormal(random)), min, max);
+      const { median, sigma, min, max } = distribution;
+      return toTokenCount(median * Math.exp(sigma * sampleNormal(random)), min, max);
     }
     case 'pareto': {
-      const { min, shape, max } = lengths;
-      return toTokens(min / Math.pow(1 - random.next(), 1 / shape), min, max);
+      const { min, shape, max } = distribution;
+      return toTokenCount(min / Math.pow(1 - random.next(), 1 / shape), min, max);
     }
     default:
-      return assertNever(lengths);
+      return assertNever(distribution);
   }
 };
--- a/packages/load/client/callEntry.ts
+++ b/packages/load/client/callEntry.ts
@@ -32,11 +32,11 @@
   choices: z.array(z.object({ delta: z.object({ content: z.string().nullish() }).optional() })),
 });
 
-const WHOLE_SCHEMA = z.object({
+const COMPLETION_SCHEMA = z.object({
   choices: z.array(z.object({ message: z.object({ content: z.string().nullish() }) })).min(1),
 });
 
-const DONE_MARK = '[DONE]';
+const END_MARKER = '[DONE]';
 
 const parseJson = (text: string): unknown => {
   try {
@@ -61,7 +61,7 @@
   call: EntryCall,
   at: Millis,
 ): CallEnd | 'open' => {
-  if (message.data === DONE_MARK) return { kind: 'finished', answer: null };
+  if (message.data === END_MARKER) return { kind: 'finished', answer: null };
   const value = parseJson(message.data);
   if (message.event === 'error') return toFailure(value, 200);
   const chunk = CHUNK_SCHEMA.safeParse(value);
@@ -90,12 +90,15 @@
   return end === 'open' ? { kind: 'broken', reason: 'the stream ended without its end mark' } : end;
 };
 
-const readWhole = async (response: Dispatcher.ResponseData, call: EntryCall): Promise<CallEnd> => {
+const readCompletion = async (
+  response: Dispatcher.ResponseData,
+  call: EntryCall,
+): Promise<CallEnd> => {
   const value = parseJson(await response.body.text());
   if (response.statusCode >= 400) return toFailure(value, response.statusCode);
-  const whole = WHOLE_SCHEMA.safeParse(value);
-  if (whole.success)
-    call.onText(whole.data.choices[0]?.message.content ?? '', call.now(), undefined);
+  const completion = COMPLETION_SCHEMA.safeParse(value);
+  if (completion.success)
+    call.onText(completion.data.choices[0]?.message.content ?? '', call.now(), undefined);
   return { kind: 'finished', answer: value };
 };
 
@@ -114,9 +117,9 @@
       signal: call.signal,
       ...(call.body === undefined ? {} : { body: call.body }),
     });
-    const type = response.headers['content-type'];
-    const isStream = typeof type === 'string' && type.startsWith('text/event-stream');
-    return await (isStream ? readStream(response.body, call) : readWhole(response, call));
+    const contentType = response.headers['content-type'];
+    const isStream = typeof contentType === 'string' && contentType.startsWith('text/event-stream');
+    return await (isStream ? readStream(response.body, call) : readCompletion(response, call));
   } catch (error) {
     return { kind: 'broken', reason: error instanceof Error ? error.message : String(error) };
   }
--- a/packages/load/client/caller.ts
+++ b/packages/load/client/caller.ts
@@ -2,11 +2,11 @@
 import type { Dispatcher } from 'undici';
 import { performCall } from './callEntry.js';
 import type { CallEnd } from './callEntry.js';
-import { renderRequestId } from './identity.js';
-import { renderRequest } from './requestText.js';
-import type { RequestText } from './requestText.js';
+import { formatRequestId } from './identity.js';
+import { buildHttpRequest } from './requestText.js';
+import type { HttpRequest } from './requestText.js';
 import type { Arrival } from '../arrivals/types.js';
-import { CALL_AGAIN_MS, MAX_CALLS } from '../constants.js';
+import { RETRY_BACKOFF_STEP_MS, MAX_CALLS_PER_REQUEST } from '../constants.js';
 import type { Cluster, LoadEvent, Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
@@ -27,18 +27,18 @@
 
 const buildHeaders = (
   arrival: Arrival,
-  text: RequestText,
+  httpRequest: HttpRequest,
   ticket: string,
   options: CallerOptions,
 ): Record<string, string> => {
-  const requestId = renderRequestId(options.run, arrival.number);
+  const requestId = formatRequestId(options.run, arrival.number);
   const key = options.cluster.customerKeys[arrival.customer] ?? '';
   const headers: Record<string, string> = {
     authorization: `Bearer ${key}`,
     'x-request-id': requestId,
     'x-chestnutspan-class': arrival.className,
   };
-  if (text.body !== undefined) headers['content-type'] = 'application/json';
+  if (httpRequest.body !== undefined) headers['content-type'] = 'application/json';
   if (ticket !== NO_TICKET) headers['last-event-id'] = ticket;
   if (arrival.work.kind === 'execution') {
     headers['idempotency-key'] = requestId;
@@ -62,23 +62,23 @@
 export const runRequest = async (arrival: Arrival, options: CallerOptions): Promise<void> => {
   const { number } = arrival;
   const { cluster, now, post } = options;
-  const text = renderRequest(arrival, renderRequestId(options.run, number));
+  const httpRequest = buildHttpRequest(arrival, formatRequestId(options.run, number));
   let ticket = NO_TICKET;
   const callOnce = (calls: number): Promise<CallEnd> =>
     performCall({
-      url: `${pickEntry(cluster.entryUrls, number + calls)}${text.path}`,
-      method: text.method,
-      headers: buildHeaders(arrival, text, ticket, options),
-      body: text.body,
+      url: `${pickEntry(cluster.entryUrls, number + calls)}${httpRequest.path}`,
+      method: httpRequest.method,
+      headers: buildHeaders(arrival, httpRequest, ticket, options),
+      body: httpRequest.body,
       signal: options.signal,
       dispatcher: options.dispatcher,
       now,
-      onText: (part, at, id) => {
-        ticket = id ?? ticket;
+      onText: (part, at, eventId) => {
+        ticket = eventId ?? ticket;
         post({ to: 'requests', kind: 'text', number, at, text: part });
       },
     });
-  const settle = (outcome: Outcome): void => {
+  const postEnd = (outcome: Outcome): void => {
     post({ to: 'requests', kind: 'ended', number, at: now(), outcome });
   };
 
@@ -87,15 +87,15 @@
     const end = await callOnce(calls);
     if (options.signal.aborted) return;
     if (end.kind !== 'broken') {
-      settle(end);
+      postEnd(end);
       return;
     }
-    if (calls + 1 === MAX_CALLS) {
-      settle({ kind: 'no-answer', reason: end.reason });
+    if (calls + 1 === MAX_CALLS_PER_REQUEST) {
+      postEnd({ kind: 'no-answer', reason: end.reason });
       return;
     }
-    const how = ticket === NO_TICKET ? 'sent-again' : 'resumed';
-    post({ to: 'requests', kind: 'called-again', number, how });
-    await waitFor(CALL_AGAIN_MS * calls);
+    const retryKind = ticket === NO_TICKET ? 'sent-again' : 'resumed';
+    post({ to: 'requests', kind: 'called-again', number, retryKind });
+    await waitFor(RETRY_BACKOFF_STEP_MS * calls);
   }
 };
--- a/packages/load/client/identity.ts
+++ b/packages/load/client/identity.ts
@@ -5,5 +5,5 @@
  * @param number - number of the arrival
  * @returns the id
  */
-export const renderRequestId = (run: string, number: number): string =>
+export const formatRequestId = (run: string, number: number): string =>
   `load-${run}-${number.toString()}`;
--- a/packages/load/client/requestText.ts
+++ b/packages/load/client/requestText.ts
@@ -3,13 +3,13 @@
 import { assertNever } from '../../core/assertNever.js';
 
 /** HTTP request of one arrival. */
-export interface RequestText {
+export interface HttpRequest {
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly body: string | undefined;
 }
 
-type GenerationArrival = Extract<Arrival['work'], { kind: 'generation' }>;
+type GenerationWork = Extract<Arrival['work'], { kind: 'generation' }>;
 
 const FILLER = 'The ledger of the day follows. ';
 
@@ -22,20 +22,16 @@
  * @param number - number of the arrival, which makes the rest of the prompt its own
  * @returns the prompt
  */
-export const renderPrompt = (
-  className: string,
-  work: GenerationArrival,
-  number: number,
-): string => {
+export const renderPrompt = (className: string, work: GenerationWork, number: number): string => {
   const length = work.promptTokens * CHARACTERS_PER_TOKEN;
   const prefix = `${className} ${work.prefix.toString()} `
     .concat(FILLER.repeat(PREFIX_CHARACTERS / FILLER.length + 1))
     .slice(0, PREFIX_CHARACTERS);
-  const own = ` ${number.toString()} `;
-  return `${prefix}${own}${FILLER.repeat(length / FILLER.length + 1)}`.slice(0, length);
+  const suffix = ` ${number.toString()} `;
+  return `${prefix}${suffix}${FILLER.repeat(length / FILLER.length + 1)}`.slice(0, length);
 };
 
-const renderGeneration = (arrival: Arrival, work: GenerationArrival): RequestText => ({
+const buildGenerationRequest = (arrival: Arrival, work: GenerationWork): HttpRequest => ({
   method: 'POST',
   path: '/v1/chat/completions',
   body: JSON.stringify({
@@ -57,11 +53,11 @@
  * @param key - idempotency key of calls with an effect
  * @returns method, path and body
  */
-export const renderRequest = (arrival: Arrival, key: string): RequestText => {
+export const buildHttpRequest = (arrival: Arrival, key: string): HttpRequest => {
   const { work } = arrival;
   switch (work.kind) {
     case 'generation':
-      return renderGeneration(arrival, work);
+      return buildGenerationRequest(arrival, work);
     case 'lookup':
       return {
         method: 'GET',
--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici';
 import { buildArrivals } from './arrivals/buildArrivals.js';
 import { sampleLength } from './arrivals/lengths.js';
-import { EMPTY_ANSWER, checkEnd, checkText } from './requests/answerCheck.js';
+import { EMPTY_ANSWER, checkLength, checkText } from './requests/answerCheck.js';
 import { checkExecutions, checkRefusedGeneration } from './requests/executionCheck.js';
 import type { RequestRecord } from './requests/types.js';
 import { computeVersionShares } from './results/series.js';
@@ -31,7 +31,7 @@
   deadlineMs: 10_000,
 };
 
-const SMALL = {
+const SMALL_SCENARIO = {
   name: 'small',
   seed: 5,
   durationMs: 1_000,
@@ -69,8 +69,8 @@
   ],
 };
 
-const parse = (change: object = {}): Scenario =>
-  parseScenario(JSON.stringify({ ...SMALL, ...change })).unwrap();
+const parseSmallScenario = (overrides: object = {}): Scenario =>
+  parseScenario(JSON.stringify({ ...SMALL_SCENARIO, ...overrides })).unwrap();
 
 // Guards against scenario files that the schema no longer accepts.
 test('the scenario files are valid and long-tailed', (t) => {
@@ -84,7 +84,7 @@
 
 // Guards against a mistake in a scenario that is reported without its place.
 test('problems of a scenario name their line', (t) => {
-  const text = JSON.stringify({ ...SMALL, seed: 'five' }, undefined, 1);
+  const text = JSON.stringify({ ...SMALL_SCENARIO, seed: 'five' }, undefined, 1);
   const problems = parseScenario(text).unwrapErr();
   t.deepEqual(
     problems.map(({ path, line }) => [path, line]),
@@ -94,7 +94,7 @@
 
 // Guards against arrivals that depend on anything but the seed, and against wrong rates.
 test('arrivals are repeatable, in order and follow rates, phases and shares', (t) => {
-  const scenario = parse({
+  const scenario = parseSmallScenario({
     durationMs: 100_000,
     phases: [{ name: 'quiet', untilMs: 50_000, rates: { lookups: 0.1 } }],
   });
@@ -108,13 +108,13 @@
       (arrival) =>
         arrival.className === className && arrival.atMs >= fromMs && arrival.atMs < fromMs + 50_000,
     ).length;
-  const near = (actual: number, wanted: number): boolean =>
-    Math.abs(actual - wanted) < 5 * Math.sqrt(wanted);
-  t.true(near(count('lookups', 0), 200));
-  t.true(near(count('lookups', 50_000), 2_000));
-  t.true(near(count('memos', 0), 1_500));
+  const isNear = (actual: number, expected: number): boolean =>
+    Math.abs(actual - expected) < 5 * Math.sqrt(expected);
+  t.true(isNear(count('lookups', 0), 200));
+  t.true(isNear(count('lookups', 50_000), 2_000));
+  t.true(isNear(count('memos', 0), 1_500));
   t.true(
-    near(arrivals.filter(({ customer }) => customer === 'large').length, arrivals.length * 0.9),
+    isNear(arrivals.filter(({ customer }) => customer === 'large').length, arrivals.length * 0.9),
   );
 });
 
@@ -136,9 +136,9 @@
     Array.from({ length }, (_, index) =>
       index === 0 ? `g${generation} ` : `w${index.toString()} `,
     );
-  const listFaults = (tokens: readonly string[], wanted: number) =>
-    checkEnd(tokens.reduce(checkText, EMPTY_ANSWER), wanted).faults;
-  const run = (length: number, at: number): void => {
+  const listFaults = (tokens: readonly string[], requested: number) =>
+    checkLength(tokens.reduce(checkText, EMPTY_ANSWER), requested).faults;
+  const checkFaults = (length: number, at: number): void => {
     const tokens = render('ab1', length);
     const index = at % length;
     const faulty = [
@@ -153,7 +153,7 @@
       if (listFaults(changed, length).length === 0) throw new Error(changed.join(''));
     }
   };
-  fc.assert(fc.property(fc.integer({ min: 2, max: 40 }), fc.nat(100), run), {
+  fc.assert(fc.property(fc.integer({ min: 2, max: 40 }), fc.nat(100), checkFaults), {
     seed: 3,
     numRuns: 200,
   });
@@ -244,7 +244,7 @@
 test('a run against stand-ins gives a whole result and its plots', async (t) => {
   const { cluster, close } = await startCluster('none');
   t.teardown(close);
-  const scenario = parse({
+  const scenario = parseSmallScenario({
     schedule: [
       { atMs: 400, action: { kind: 'engine', id: 'e1', fault: { kind: 'slow', factor: 1.5 } } },
       { atMs: 500, action: { kind: 'process', id: 'entry-1', fault: { kind: 'kill' } } },
@@ -279,7 +279,9 @@
     ['double-calls', 'ran-twice'],
   ] as const) {
     const { cluster, close } = await startCluster(fault);
-    const result = await runLoad(parse(), cluster, { policy: { kind: 'round-robin' } });
+    const result = await runLoad(parseSmallScenario(), cluster, {
+      policy: { kind: 'round-robin' },
+    });
     await close();
     t.true(result.violations.length > 0);
     t.true(result.violations.every((violation) => violation.kind === kind));
--- a/packages/load/plots/plotSpecs.ts
+++ b/packages/load/plots/plotSpecs.ts
@@ -34,11 +34,11 @@
 
 const listPercentileRows = (
   results: readonly RunResult[],
-  read: (result: ClassResult) => Percentiles,
+  selectPercentiles: (result: ClassResult) => Percentiles,
 ): Rows =>
   results.flatMap(({ policy, classes }) =>
     classes.flatMap((result) => {
-      const percentiles = read(result);
+      const percentiles = selectPercentiles(result);
       if (percentiles.count === 0) return [];
       return PERCENTILES.map((percentile) => ({
         policy: policy.kind,
@@ -115,10 +115,10 @@
 
 const listSeriesRows = <Point extends { readonly atMs: number }>(
   results: readonly RunResult[],
-  read: (result: RunResult) => readonly Point[],
+  selectSeries: (result: RunResult) => readonly Point[],
 ): Rows =>
   results.flatMap((result) =>
-    read(result).map((point) => ({
+    selectSeries(result).map((point) => ({
       ...point,
       seconds: point.atMs / MILLIS_PER_SECOND,
       policy: result.policy.kind,
--- a/packages/load/requests/answerCheck.ts
+++ b/packages/load/requests/answerCheck.ts
@@ -60,11 +60,11 @@
  * Checks the length of an answer that claims to be whole.
  *
  * @param check - all tokens
- * @param wantedTokens - tokens that the request asked for
+ * @param requestedTokens - tokens that the request asked for
  * @returns the answer with any fault of its length
  */
-export const checkEnd = (check: AnswerCheck, wantedTokens: number): AnswerCheck => {
-  if (check.nextNumber < wantedTokens) return addFault(check, 'short-answer');
-  if (check.nextNumber > wantedTokens) return addFault(check, 'long-answer');
+export const checkLength = (check: AnswerCheck, requestedTokens: number): AnswerCheck => {
+  if (check.nextNumber < requestedTokens) return addFault(check, 'short-answer');
+  if (check.nextNumber > requestedTokens) return addFault(check, 'long-answer');
   return check;
 };
--- a/packages/load/requests/executionCheck.ts
+++ b/packages/load/requests/executionCheck.ts
@@ -2,15 +2,15 @@
 import { assertNever } from '../../core/assertNever.js';
 
 /** Why a number of executions breaks a promise, or `kept`. */
-type ExecutionDecision = Extract<
+type ExecutionViolation = Extract<
   Violation['kind'],
   'ran-twice' | 'not-run-but-ran' | 'ran-but-not-run'
 >;
 
-const decideVerdict = (
+const checkVerdict = (
   verdict: 'not-run' | 'may-have-run' | 'ran',
   count: number,
-): ExecutionDecision | 'kept' => {
+): ExecutionViolation | 'kept' => {
   switch (verdict) {
     case 'not-run':
       return count === 0 ? 'kept' : 'not-run-but-ran';
@@ -23,13 +23,13 @@
   }
 };
 
-const decideOutcome = (record: RequestRecord, count: number): ExecutionDecision | 'kept' => {
+const checkOutcome = (record: RequestRecord, count: number): ExecutionViolation | 'kept' => {
   const { outcome } = record;
   switch (outcome.kind) {
     case 'finished':
-      return decideVerdict('ran', count);
+      return checkVerdict('ran', count);
     case 'failed':
-      return decideVerdict(outcome.verdict, count);
+      return checkVerdict(outcome.verdict, count);
     case 'no-answer':
     case 'unfinished':
     case 'open':
@@ -49,7 +49,7 @@
 export const checkExecutions = (
   record: RequestRecord,
   count: number,
-): ExecutionDecision | 'kept' => (count > 1 ? 'ran-twice' : decideOutcome(record, count));
+): ExecutionViolation | 'kept' => (count > 1 ? 'ran-twice' : checkOutcome(record, count));
 
 /**
  * Checks that a generation that was refused as `not-run` was started at no engine. A request that
@@ -62,7 +62,7 @@
 export const checkRefusedGeneration = (
   record: RequestRecord,
   count: number,
-): ExecutionDecision | 'kept' => {
+): ExecutionViolation | 'kept' => {
   const { outcome, calledAgain } = record;
   if (outcome.kind !== 'failed' || outcome.verdict !== 'not-run') return 'kept';
   return count === 0 || calledAgain.length > 0 ? 'kept' : 'not-run-but-ran';
--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -19,7 +19,7 @@
 export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
 
 /** Sums of one class. */
-export interface StallSums {
+export interface ClassTotals {
   readonly stalls: number;
   readonly stallMs: Millis;
   readonly tokens: number;
@@ -34,7 +34,7 @@
   readonly addToken: (className: ClassName) => void;
   readonly addStall: (className: ClassName, ms: Millis) => void;
   readonly getPercentiles: (className: ClassName, name: MeasureName) => Percentiles;
-  readonly getSums: (className: ClassName) => StallSums;
+  readonly getTotals: (className: ClassName) => ClassTotals;
 }
 
 const MICROS_PER_MILLI = 1_000;
@@ -60,15 +60,15 @@
   });
 
 const toPercentiles = (histogram: Histogram): Percentiles => {
-  const read = (percentile: number): Millis =>
+  const getMillis = (percentile: number): Millis =>
     histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
   return {
     count: histogram.totalCount,
     mean: histogram.mean / MICROS_PER_MILLI,
-    p50: read(50),
-    p95: read(95),
-    p99: read(99),
-    p999: read(99.9),
+    p50: getMillis(50),
+    p95: getMillis(95),
+    p99: getMillis(99),
+    p999: getMillis(99.9),
     max: histogram.maxValue / MICROS_PER_MILLI,
   };
 };
@@ -80,36 +80,36 @@
  */
 export const createMeasures = (): Measures => {
   const histograms = new Map<string, Histogram>();
-  const sums = new Map<ClassName, StallSums>();
+  const totals = new Map<ClassName, ClassTotals>();
 
-  const openHistogram = (key: string): Histogram => {
-    const known = histograms.get(key);
-    if (known !== undefined) return known;
+  const getHistogram = (key: string): Histogram => {
+    const existing = histograms.get(key);
+    if (existing !== undefined) return existing;
     const created = createHistogram();
     histograms.set(key, created);
     return created;
   };
 
-  const getSums = (className: ClassName): StallSums =>
-    sums.get(className) ?? { stalls: 0, stallMs: 0, tokens: 0 };
+  const getTotals = (className: ClassName): ClassTotals =>
+    totals.get(className) ?? { stalls: 0, stallMs: 0, tokens: 0 };
 
   return {
     record: (className, name, ms) => {
       const bounded = Math.min(MAX_MEASURED_MS, Math.max(0, ms));
-      openHistogram(`${className} ${name}`).recordValue(Math.round(bounded * MICROS_PER_MILLI));
+      getHistogram(`${className} ${name}`).recordValue(Math.round(bounded * MICROS_PER_MILLI));
     },
     addToken: (className) => {
-      const { stalls, stallMs, tokens } = getSums(className);
-      sums.set(className, { stalls, stallMs, tokens: tokens + 1 });
+      const { stalls, stallMs, tokens } = getTotals(className);
+      totals.set(className, { stalls, stallMs, tokens: tokens + 1 });
     },
     addStall: (className, ms) => {
-      const { stalls, stallMs, tokens } = getSums(className);
-      sums.set(className, { stalls: stalls + 1, stallMs: stallMs + ms, tokens });
+      const { stalls, stallMs, tokens } = getTotals(className);
+      totals.set(className, { stalls: stalls + 1, stallMs: stallMs + ms, tokens });
     },
     getPercentiles: (className, name) => {
       const histogram = histograms.get(`${className} ${name}`);
       return histogram === undefined ? EMPTY_PERCENTILES : toPercentiles(histogram);
     },
-    getSums,
+    getTotals,
   };
 };
--- a/packages/load/requests/requestsChild.ts
+++ b/packages/load/requests/requestsChild.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
-import { EMPTY_ANSWER, checkEnd, checkText } from './answerCheck.js';
+import { EMPTY_ANSWER, checkLength, checkText } from './answerCheck.js';
 import { createMeasures } from './measures.js';
 import type { RequestRecord, RequestsState, Violation } from './types.js';
-import { renderRequestId } from '../client/identity.js';
+import { formatRequestId } from '../client/identity.js';
 import type { LoadClass, Scenario } from '../scenario/types.js';
 import type { LoadEffect, Outcome, RequestsEvent } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -65,7 +65,7 @@
 };
 
 /** Finds what an answer of a plain service gets wrong. */
-const findWrongAnswer = (record: RequestRecord, answer: unknown, key: string): string => {
+const describeWrongAnswer = (record: RequestRecord, answer: unknown, key: string): string => {
   const { work } = record.arrival;
   switch (work.kind) {
     case 'generation':
@@ -91,18 +91,23 @@
   context: RequestsContext,
 ): readonly Violation[] => {
   const { work, className, number } = record.arrival;
-  const requestId = renderRequestId(context.run, number);
-  const isWhole = outcome.kind === 'finished' && work.kind === 'generation';
-  const check = isWhole ? checkEnd(record.check, work.outputTokens) : record.check;
-  const counted = `${record.check.nextNumber.toString()} tokens`;
-  const violations = check.faults.map((kind) => ({ kind, requestId, className, detail: counted }));
+  const requestId = formatRequestId(context.run, number);
+  const isFinishedGeneration = outcome.kind === 'finished' && work.kind === 'generation';
+  const check = isFinishedGeneration ? checkLength(record.check, work.outputTokens) : record.check;
+  const tokenCount = `${record.check.nextNumber.toString()} tokens`;
+  const violations = check.faults.map((kind) => ({
+    kind,
+    requestId,
+    className,
+    detail: tokenCount,
+  }));
   const detail =
-    outcome.kind === 'finished' ? findWrongAnswer(record, outcome.answer, requestId) : '';
+    outcome.kind === 'finished' ? describeWrongAnswer(record, outcome.answer, requestId) : '';
   if (detail === '') return violations;
   return [...violations, { kind: 'wrong-answer', requestId, className, detail }];
 };
 
-const recordEnd = (
+const recordLatencies = (
   record: RequestRecord,
   outcome: Outcome,
   at: Millis,
@@ -116,17 +121,17 @@
   state.measures.record(className, 'whole-answer', at - atMs);
 };
 
-const toDoneEffects = (state: RequestsState): readonly LoadEffect[] =>
+const buildDoneEffects = (state: RequestsState): readonly LoadEffect[] =>
   state.phase === 'draining' && state.open === 0 ? [{ kind: 'done' }] : [];
 
-const settleRequest = (
+const closeRequest = (
   state: RequestsState,
   event: Extract<RequestsEvent, { kind: 'ended' }>,
   context: RequestsContext,
 ): RequestsStep => {
   const record = state.table.get(event.number);
   if (record?.outcome.kind !== 'open') return toStep(state);
-  recordEnd(record, event.outcome, event.at, state, context);
+  recordLatencies(record, event.outcome, event.at, state, context);
   const violations = listViolations(record, event.outcome, context);
   // Prompts and answers are checked; the record keeps only how the request ended.
   const outcome: Outcome =
@@ -137,7 +142,7 @@
     open: state.open - 1,
     violations: [...state.violations, ...violations],
   };
-  return toStep(next, ...toDoneEffects(next));
+  return toStep(next, ...buildDoneEffects(next));
 };
 
 const openRequest = (
@@ -161,7 +166,7 @@
   return toStep({ ...state, open: state.open + 1 });
 };
 
-const closeDrain = (state: RequestsState): RequestsStep => {
+const endDrain = (state: RequestsState): RequestsStep => {
   if (state.phase === 'over') return toStep(state);
   for (const [number, record] of state.table) {
     if (record.outcome.kind !== 'open') continue;
@@ -191,18 +196,18 @@
     case 'called-again': {
       const record = state.table.get(event.number);
       if (record === undefined) return toStep(state);
-      const calledAgain = [...record.calledAgain, event.how];
+      const calledAgain = [...record.calledAgain, event.retryKind];
       state.table.set(event.number, { ...record, calledAgain });
       return toStep(state);
     }
     case 'ended':
-      return settleRequest(state, event, context);
+      return closeRequest(state, event, context);
     case 'arrivals-over': {
       const next: RequestsState = { ...state, phase: 'draining' };
-      return toStep(next, ...toDoneEffects(next));
+      return toStep(next, ...buildDoneEffects(next));
     }
     case 'drain-over':
-      return closeDrain(state);
+      return endDrain(state);
     default:
       return assertNever(event);
   }
--- a/packages/load/requests/types.ts
+++ b/packages/load/requests/types.ts
@@ -1,7 +1,7 @@
 import type { AnswerCheck } from './answerCheck.js';
 import type { Measures } from './measures.js';
 import type { Arrival } from '../arrivals/types.js';
-import type { CallAgain, Outcome } from '../types.js';
+import type { RetryKind, Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
 /** A promise of the system that an answer broke. */
@@ -32,7 +32,7 @@
   readonly check: AnswerCheck;
   readonly firstAt: Millis | 'none';
   readonly lastAt: Millis;
-  readonly calledAgain: readonly CallAgain[];
+  readonly calledAgain: readonly RetryKind[];
   readonly outcome: Outcome | { readonly kind: 'open' };
 }
 
--- a/packages/load/results/buildResult.ts
+++ b/packages/load/results/buildResult.ts
@@ -1,4 +1,4 @@
-import { computeVersionShares, countOutcomes, findNewestCounters, foldEngines } from './series.js';
+import { computeVersionShares, countOutcomes, findNewestCounters, sumEngines } from './series.js';
 import type { ClassResult, RunResult } from './types.js';
 import type { RequestRecord, RequestsState, Violation } from '../requests/types.js';
 import type { SamplesState } from '../samples/samplesChild.js';
@@ -34,9 +34,9 @@
   { measures }: RequestsState,
 ): ClassResult => {
   const { name, kind } = loadClass;
-  const count = (wanted: RequestRecord['outcome']['kind']): number =>
-    records.filter(({ outcome }) => outcome.kind === wanted).length;
-  const again = records.flatMap(({ calledAgain }) => calledAgain);
+  const count = (outcomeKind: RequestRecord['outcome']['kind']): number =>
+    records.filter(({ outcome }) => outcome.kind === outcomeKind).length;
+  const retries = records.flatMap(({ calledAgain }) => calledAgain);
   return {
     className: name,
     kind,
@@ -45,13 +45,13 @@
     failures: countFailures(records),
     noAnswer: count('no-answer'),
     unfinished: count('unfinished') + count('open'),
-    resumed: again.filter((how) => how === 'resumed').length,
-    sentAgain: again.filter((how) => how === 'sent-again').length,
+    resumed: retries.filter((retryKind) => retryKind === 'resumed').length,
+    sentAgain: retries.filter((retryKind) => retryKind === 'sent-again').length,
     firstToken: measures.getPercentiles(name, 'first-token'),
     tokenGap: measures.getPercentiles(name, 'token-gap'),
     wholeAnswer: measures.getPercentiles(name, 'whole-answer'),
     sendDelay: measures.getPercentiles(name, 'send-delay'),
-    ...measures.getSums(name),
+    ...measures.getTotals(name),
   };
 };
 
@@ -69,8 +69,8 @@
   const all = [...requests.table.values()];
   const measured = all.filter(({ arrival }) => arrival.atMs >= scenario.settleMs);
   const engines = findNewestCounters(samples.samples);
-  const points = foldEngines(samples.samples);
-  const steady = points.filter(
+  const points = sumEngines(samples.samples);
+  const measuredPoints = points.filter(
     ({ atMs }) => atMs >= scenario.settleMs && atMs <= scenario.durationMs,
   );
   return {
@@ -90,7 +90,7 @@
     engines,
     preemptions: engines.reduce((sum, { preemptions }) => sum + preemptions, 0),
     overloadedWhileCold: engines.reduce((sum, engine) => sum + engine.overloadedWhileCold, 0),
-    meanMemoryShare: computeMean(steady.map(({ memoryShare }) => memoryShare)),
+    meanMemoryShare: computeMean(measuredPoints.map(({ memoryShare }) => memoryShare)),
     violations: [...requests.violations, ...records.violations],
     actions: [...samples.actions].sort((left, right) => left.plannedMs - right.plannedMs),
     series: {
--- a/packages/load/results/series.ts
+++ b/packages/load/results/series.ts
@@ -43,7 +43,7 @@
 };
 
 /** A counter that fell belongs to an engine whose process started again from 0. */
-const countSince = (now: number, before: number): number => (now < before ? now : now - before);
+const computeIncrease = (now: number, before: number): number => (now < before ? now : now - before);
 
 const addStarts = (
   totals: Map<string, number>,
@@ -51,8 +51,8 @@
   before: EngineCounters | undefined,
 ): void => {
   for (const [version, started] of Object.entries(counters.startedByVersion)) {
-    const since = countSince(started, before?.startedByVersion[version] ?? 0);
-    totals.set(version, (totals.get(version) ?? 0) + since);
+    const increase = computeIncrease(started, before?.startedByVersion[version] ?? 0);
+    totals.set(version, (totals.get(version) ?? 0) + increase);
   }
 };
 
@@ -86,10 +86,10 @@
  * @param samples - counters of the engines in order of time
  * @returns one point for each sample
  */
-export const foldEngines = (samples: readonly Sample[]): readonly EnginesPoint[] =>
+export const sumEngines = (samples: readonly Sample[]): readonly EnginesPoint[] =>
   samples.map(({ at, counters }) => {
-    const sum = (read: (engine: EngineCounters) => number): number =>
-      counters.reduce((total, engine) => total + read(engine), 0);
+    const sum = (getValue: (engine: EngineCounters) => number): number =>
+      counters.reduce((total, engine) => total + getValue(engine), 0);
     return {
       atMs: at,
       running: sum(({ running }) => running),
--- a/packages/load/results/types.ts
+++ b/packages/load/results/types.ts
@@ -1,6 +1,6 @@
-import type { StallSums, Percentiles } from '../requests/measures.js';
+import type { ClassTotals, Percentiles } from '../requests/measures.js';
 import type { Violation } from '../requests/types.js';
-import type { ActedAction, EngineCounters } from '../samples/types.js';
+import type { PerformedAction, EngineCounters } from '../samples/types.js';
 import type { LoadClass, LoadPolicy } from '../scenario/types.js';
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, VersionName } from '../../core/ids.js';
@@ -15,7 +15,7 @@
   | 'unfinished';
 
 /** What callers of one class saw. */
-export interface ClassResult extends StallSums {
+export interface ClassResult extends ClassTotals {
   readonly className: ClassName;
   readonly kind: LoadClass['kind'];
   readonly offered: number;
@@ -77,7 +77,7 @@
   /** Mean over engines and samples after the settling time. */
   readonly meanMemoryShare: number;
   readonly violations: readonly Violation[];
-  readonly actions: readonly ActedAction[];
+  readonly actions: readonly PerformedAction[];
   readonly series: {
     readonly outcomes: readonly OutcomePoint[];
     readonly versions: readonly VersionPoint[];
--- a/packages/load/runLoad.ts
+++ b/packages/load/runLoad.ts
@@ -9,7 +9,7 @@
 import type { RunResult } from './results/types.js';
 import { fetchCounters } from './samples/fetchPages.js';
 import { verifyExecutions } from './samples/verifyExecutions.js';
-import type { LoadPolicy, Scenario, Scheduled } from './scenario/types.js';
+import type { LoadPolicy, Scenario, ScheduleEntry } from './scenario/types.js';
 import { listLoadChildren } from './supervisor.js';
 import type { LoadViews } from './supervisor.js';
 import type { Timetable } from './timetable/timetableChild.js';
@@ -44,7 +44,7 @@
   drainMs: scenario.drainMs,
 });
 
-const performScheduled = async (scheduled: Scheduled, adapters: RunAdapters): Promise<void> => {
+const performScheduled = async (scheduled: ScheduleEntry, adapters: RunAdapters): Promise<void> => {
   const { cluster, dispatcher, now, post } = adapters;
   const error = await performAction(scheduled.action, cluster, dispatcher).then(
     () => '',
@@ -93,7 +93,7 @@
 }> => {
   const views: LoadViews = { requests: createView(), samples: createView() };
   const timetable = buildTimetable(scenario);
-  const abort = new AbortController();
+  const abortController = new AbortController();
   const clock = createSystemClock();
   const startedAt = clock.now();
   const now = (): Millis => clock.now() - startedAt;
@@ -106,7 +106,7 @@
         performEffect(effect, loop, adapters);
       },
     });
-    const { signal } = abort;
+    const { signal } = abortController;
     // Every request in progress listens to this one signal.
     setMaxListeners(0, signal);
     const adapters: RunAdapters = {
@@ -118,7 +118,7 @@
       startedAt,
       post: daemon.post,
       onDone: () => {
-        abort.abort();
+        abortController.abort();
         daemon.stop();
         resolve();
       },
--- a/packages/load/samples/fetchPages.ts
+++ b/packages/load/samples/fetchPages.ts
@@ -43,8 +43,8 @@
     engine,
     ...COUNTERS_SCHEMA.parse(await fetchPage(`${url}/standin/counters`, dispatcher)),
   }));
-  const settled = await Promise.allSettled(pages);
-  return settled.flatMap((page) => (page.status === 'fulfilled' ? [page.value] : []));
+  const results = await Promise.allSettled(pages);
+  return results.flatMap((page) => (page.status === 'fulfilled' ? [page.value] : []));
 };
 
 /**
@@ -54,18 +54,18 @@
  * @param dispatcher - connections
  * @returns executions by request id
  */
-export const fetchEngineRuns = async (
+export const fetchGenerationCounts = async (
   engineUrls: Readonly<Record<string, string>>,
   dispatcher: Dispatcher,
 ): Promise<ReadonlyMap<string, number>> => {
-  const runs = new Map<string, number>();
+  const counts = new Map<string, number>();
   for (const url of Object.values(engineUrls)) {
     const page = await fetchPage(`${url}/standin/stats`, dispatcher);
     for (const [id, count] of Object.entries(REQUESTS_SCHEMA.parse(page).requests)) {
-      runs.set(id, (runs.get(id) ?? 0) + count);
+      counts.set(id, (counts.get(id) ?? 0) + count);
     }
   }
-  return runs;
+  return counts;
 };
 
 /**
@@ -76,7 +76,7 @@
  * @param dispatcher - connections
  * @returns executions
  */
-export const fetchExecutions = async (
+export const fetchExecutionCount = async (
   inspectionUrls: readonly string[],
   key: string,
   dispatcher: Dispatcher,
--- a/packages/load/samples/samplesChild.ts
+++ b/packages/load/samples/samplesChild.ts
@@ -1,5 +1,5 @@
-import type { ActedAction, Sample } from './types.js';
-import { SAMPLE_MS } from '../constants.js';
+import type { PerformedAction, Sample } from './types.js';
+import { SAMPLE_PERIOD_MS } from '../constants.js';
 import type { LoadEffect, SamplesEvent } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Step } from '../../core/step.js';
@@ -9,12 +9,12 @@
 /** Counters of the engines over the run, and the actions between them. */
 export interface SamplesState {
   readonly samples: readonly Sample[];
-  readonly actions: readonly ActedAction[];
+  readonly actions: readonly PerformedAction[];
 }
 
-const SAMPLE_AGAIN: LoadEffect = {
+const SCHEDULE_NEXT_SAMPLE: LoadEffect = {
   kind: 'schedule',
-  delayMs: SAMPLE_MS,
+  delayMs: SAMPLE_PERIOD_MS,
   event: { to: 'samples', kind: 'sample-due' },
 };
 
@@ -31,7 +31,7 @@
 ): Step<SamplesState, LoadEffect> => {
   switch (event.kind) {
     case 'sample-due':
-      return toStep(state, { kind: 'sample' }, SAMPLE_AGAIN);
+      return toStep(state, { kind: 'sample' }, SCHEDULE_NEXT_SAMPLE);
     case 'sampled': {
       const { at, counters } = event;
       return toStep({ ...state, samples: [...state.samples, { at, counters }] });
@@ -39,8 +39,8 @@
     case 'acted': {
       const { at, scheduled, error } = event;
       const plannedMs = scheduled.atMs;
-      const acted = { plannedMs, at, action: JSON.stringify(scheduled.action), error };
-      return toStep({ ...state, actions: [...state.actions, acted] });
+      const performed = { plannedMs, at, action: JSON.stringify(scheduled.action), error };
+      return toStep({ ...state, actions: [...state.actions, performed] });
     }
     default:
       return assertNever(event);
@@ -57,7 +57,7 @@
     toStep<SamplesState, LoadEffect>(
       { samples: [], actions: [] },
       { kind: 'sample' },
-      SAMPLE_AGAIN,
+      SCHEDULE_NEXT_SAMPLE,
     ),
   decide: decideSamples,
 });
--- a/packages/load/samples/types.ts
+++ b/packages/load/samples/types.ts
@@ -23,7 +23,7 @@
 }
 
 /** Scheduled action that was carried out. */
-export interface ActedAction {
+export interface PerformedAction {
   readonly plannedMs: Millis;
   /** When it was done; actions run side by side, as one may have to wait for the next. */
   readonly at: Millis;
--- a/packages/load/samples/verifyExecutions.ts
+++ b/packages/load/samples/verifyExecutions.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from 'undici';
-import { fetchEngineRuns, fetchExecutions } from './fetchPages.js';
-import { renderRequestId } from '../client/identity.js';
+import { fetchGenerationCounts, fetchExecutionCount } from './fetchPages.js';
+import { formatRequestId } from '../client/identity.js';
 import { INSPECTION_CONCURRENCY } from '../constants.js';
 import { checkExecutions, checkRefusedGeneration } from '../requests/executionCheck.js';
 import type { RequestRecord, Violation } from '../requests/types.js';
@@ -21,14 +21,14 @@
 };
 
 /** Works through items a few at a time, so that inspection does not load the stand-ins. */
-const collectInTurn = async <Item, Result>(
+const collectInBatches = async <Item, Result>(
   items: readonly Item[],
-  work: (item: Item) => Promise<readonly Result[]>,
+  checkItem: (item: Item) => Promise<readonly Result[]>,
 ): Promise<readonly Result[]> => {
   const results: Result[] = [];
   for (let from = 0; from < items.length; from += INSPECTION_CONCURRENCY) {
     const batch = items.slice(from, from + INSPECTION_CONCURRENCY);
-    for (const found of await Promise.all(batch.map(work))) results.push(...found);
+    for (const found of await Promise.all(batch.map(checkItem))) results.push(...found);
   }
   return results;
 };
@@ -49,18 +49,18 @@
   dispatcher: Dispatcher,
 ): Promise<readonly Violation[]> => {
   const inspectionUrls = Object.values(cluster.ledgerUrls).map((urls) => urls.inspectionUrl);
-  const keyed = records.filter(({ arrival }) => arrival.work.kind === 'execution');
-  const generations = records.filter(({ arrival }) => arrival.work.kind === 'generation');
-  const executions = await collectInTurn(keyed, async (record) => {
-    const requestId = renderRequestId(run, record.arrival.number);
-    const count = await fetchExecutions(inspectionUrls, requestId, dispatcher);
+  const executionRecords = records.filter(({ arrival }) => arrival.work.kind === 'execution');
+  const generationRecords = records.filter(({ arrival }) => arrival.work.kind === 'generation');
+  const executionViolations = await collectInBatches(executionRecords, async (record) => {
+    const requestId = formatRequestId(run, record.arrival.number);
+    const count = await fetchExecutionCount(inspectionUrls, requestId, dispatcher);
     return toViolations(record, requestId, count, checkExecutions(record, count));
   });
-  const runs = await fetchEngineRuns(cluster.engineUrls, dispatcher);
-  const refused = generations.flatMap((record) => {
-    const requestId = renderRequestId(run, record.arrival.number);
-    const count = runs.get(requestId) ?? 0;
+  const generationCounts = await fetchGenerationCounts(cluster.engineUrls, dispatcher);
+  const generationViolations = generationRecords.flatMap((record) => {
+    const requestId = formatRequestId(run, record.arrival.number);
+    const count = generationCounts.get(requestId) ?? 0;
     return toViolations(record, requestId, count, checkRefusedGeneration(record, count));
   });
-  return [...executions, ...refused];
+  return [...executionViolations, ...generationViolations];
 };
--- a/packages/load/scenario/schema.ts
+++ b/packages/load/scenario/schema.ts
@@ -10,7 +10,7 @@
 const RATE = z.number().min(0);
 
 /** Distribution of a length in tokens. */
-const LENGTHS_SCHEMA = z.discriminatedUnion('kind', [
+const LENGTH_DISTRIBUTION_SCHEMA = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('constant'), tokens: COUNT }),
   z.strictObject({ kind: z.literal('uniform'), min: COUNT, max: COUNT }),
   z.strictObject({
@@ -82,8 +82,8 @@
     ...CLASS_BASE,
     model: NAME,
     route: NAME.optional(),
-    prompt: LENGTHS_SCHEMA,
-    output: LENGTHS_SCHEMA,
+    prompt: LENGTH_DISTRIBUTION_SCHEMA,
+    output: LENGTH_DISTRIBUTION_SCHEMA,
     /** Different prompt prefixes that the requests of the class share. */
     prefixes: COUNT.default(8),
   }),
@@ -181,13 +181,13 @@
   })
   .superRefine((scenario, context) => {
     const dataCentres = new Set(scenario.deployment.dataCentres.map(({ name }) => name));
-    const check = (list: 'engines' | 'services'): void => {
+    const checkDataCentres = (list: 'engines' | 'services'): void => {
       scenario.deployment[list].forEach(({ dataCentre }, index) => {
         if (dataCentres.has(dataCentre)) return;
         const path = ['deployment', list, index, 'dataCentre'];
         context.addIssue({ code: 'custom', path, message: 'expected a data centre of the list' });
       });
     };
-    check('engines');
-    check('services');
+    checkDataCentres('engines');
+    checkDataCentres('services');
   });
--- a/packages/load/scenario/types.ts
+++ b/packages/load/scenario/types.ts
@@ -20,12 +20,12 @@
 export type LoadPhase = Scenario['phases'][number];
 
 /** Distribution of a length in tokens. */
-export type Lengths = GenerationClass['prompt'];
+export type LengthDistribution = GenerationClass['prompt'];
 
 /** Something that happens at a fixed time of the run. */
-export type Scheduled = Scenario['schedule'][number];
+export type ScheduleEntry = Scenario['schedule'][number];
 
-export type ScheduledAction = Scheduled['action'];
+export type ScheduledAction = ScheduleEntry['action'];
 
 /** Fault of a process, which the cluster carries out. */
 export type ProcessFault = Extract<ScheduledAction, { kind: 'process' }>['fault'];
--- a/packages/load/timetable/timetableChild.ts
+++ b/packages/load/timetable/timetableChild.ts
@@ -1,5 +1,5 @@
 import type { Arrival } from '../arrivals/types.js';
-import type { Scheduled } from '../scenario/types.js';
+import type { ScheduleEntry } from '../scenario/types.js';
 import type { LoadEffect, TimetableEvent } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 import type { Step } from '../../core/step.js';
@@ -10,7 +10,7 @@
 export interface Timetable {
   /** In order of time. */
   readonly arrivals: readonly Arrival[];
-  readonly schedule: readonly Scheduled[];
+  readonly schedule: readonly ScheduleEntry[];
   readonly durationMs: Millis;
   readonly drainMs: Millis;
 }
--- a/packages/load/types.ts
+++ b/packages/load/types.ts
@@ -1,6 +1,6 @@
 import type { Arrival } from './arrivals/types.js';
 import type { EngineCounters } from './samples/types.js';
-import type { OperatorAction, ProcessFault, Scheduled } from './scenario/types.js';
+import type { OperatorAction, ProcessFault, ScheduleEntry } from './scenario/types.js';
 import type { Millis } from '../core/clock.js';
 import type { CustomerId } from '../core/ids.js';
 import type { Verdict } from '../core/verdict.js';
@@ -41,7 +41,7 @@
   | { readonly kind: 'unfinished' };
 
 /** Why a caller called again. */
-export type CallAgain = 'resumed' | 'sent-again';
+export type RetryKind = 'resumed' | 'sent-again';
 
 export type RequestsEvent =
   | { readonly kind: 'sent'; readonly arrival: Arrival; readonly at: Millis }
@@ -51,7 +51,7 @@
       readonly at: Millis;
       readonly text: string;
     }
-  | { readonly kind: 'called-again'; readonly number: number; readonly how: CallAgain }
+  | { readonly kind: 'called-again'; readonly number: number; readonly retryKind: RetryKind }
   | {
       readonly kind: 'ended';
       readonly number: number;
@@ -71,7 +71,7 @@
   | {
       readonly kind: 'acted';
       readonly at: Millis;
-      readonly scheduled: Scheduled;
+      readonly scheduled: ScheduleEntry;
       readonly error: string;
     };
 
@@ -83,6 +83,6 @@
 export type LoadEffect =
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: LoadEvent }
   | { readonly kind: 'send'; readonly arrival: Arrival }
-  | { readonly kind: 'act'; readonly scheduled: Scheduled }
+  | { readonly kind: 'act'; readonly scheduled: ScheduleEntry }
   | { readonly kind: 'sample' }
   | { readonly kind: 'done' };
--- a/packages/timeline/clocks.ts
+++ b/packages/timeline/clocks.ts
@@ -16,7 +16,7 @@
 /** A message that left at `a` and arrived at `b` shows that the clocks differ by at most b - a. */
 const collectBounds = (table: EventTable): BoundsTable => {
   const bounds = new Map<number, Map<number, ClockBounds>>();
-  const narrow = (first: number, second: number, low: Millis, high: Millis): void => {
+  const narrowBounds = (first: number, second: number, low: Millis, high: Millis): void => {
     const row = bounds.get(first) ?? new Map<number, ClockBounds>();
     const known = row.get(second) ?? UNBOUNDED;
     row.set(second, { low: Math.max(known.low, low), high: Math.min(known.high, high) });
@@ -26,8 +26,8 @@
     const sender = table.sourceOf[edge.from] ?? 0;
     const receiver = table.sourceOf[edge.to] ?? 0;
     const difference = (table.events[edge.to]?.at ?? 0) - (table.events[edge.from]?.at ?? 0);
-    narrow(sender, receiver, UNBOUNDED.low, difference);
-    narrow(receiver, sender, -difference, UNBOUNDED.high);
+    narrowBounds(sender, receiver, UNBOUNDED.low, difference);
+    narrowBounds(receiver, sender, -difference, UNBOUNDED.high);
   }
   return bounds;
 };
@@ -39,24 +39,24 @@
   return (bounds.low + bounds.high) / 2;
 };
 
-interface Link {
+interface ClockLink {
   readonly from: number;
   readonly to: number;
   readonly bounds: ClockBounds;
 }
 
 /** The link to a source not yet reached whose clock difference is known best. */
-const pickTightest = (
+const pickTightestLink = (
   bounds: BoundsTable,
   reached: ReadonlyMap<number, Millis>,
-): Link | undefined => {
-  let best: Link | undefined;
+): ClockLink | undefined => {
+  let best: ClockLink | undefined;
   for (const from of reached.keys()) {
-    for (const [to, link] of bounds.get(from) ?? []) {
+    for (const [to, candidate] of bounds.get(from) ?? []) {
       if (reached.has(to)) continue;
-      const width = link.high - link.low;
+      const width = candidate.high - candidate.low;
       if (best === undefined || width < best.bounds.high - best.bounds.low) {
-        best = { from, to, bounds: link };
+        best = { from, to, bounds: candidate };
       }
     }
   }
@@ -77,7 +77,7 @@
     if (offsets.has(root)) continue;
     offsets.set(root, 0);
     for (;;) {
-      const link = pickTightest(bounds, offsets);
+      const link = pickTightestLink(bounds, offsets);
       if (link === undefined) break;
       offsets.set(link.to, (offsets.get(link.from) ?? 0) + estimateDifference(link.bounds));
     }
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -12,7 +12,7 @@
 /** The partial order of the events. */
 export interface PartialOrder {
   /** Number of nodes: the events and one barrier for each log offset. */
-  readonly nodes: number;
+  readonly nodeCount: number;
   readonly edges: readonly Edge[];
 }
 
@@ -24,13 +24,13 @@
   'operator-record-accepted',
 ]);
 
-const collectBy = <Key>(
+const collectIndices = <Key>(
   table: EventTable,
-  findKey: (index: number) => Key | undefined,
+  getKey: (index: number) => Key | undefined,
 ): ReadonlyMap<Key, readonly number[]> => {
   const groups = new Map<Key, number[]>();
   table.events.forEach((_event, index) => {
-    const key = findKey(index);
+    const key = getKey(index);
     if (key === undefined) return;
     const group = groups.get(key);
     if (group === undefined) groups.set(key, [index]);
@@ -55,13 +55,13 @@
  * @returns one edge for each arrival in another process
  */
 export const buildMessageEdges = (table: EventTable): readonly Edge[] => {
-  const sends = collectBy(table, (index) => table.events[index]?.sent);
+  const sends = collectIndices(table, (index) => table.events[index]?.sent);
   return table.events.flatMap((event, to): readonly Edge[] => {
     const senders = event.received === undefined ? [] : (sends.get(event.received) ?? []);
     const [from] = senders;
     if (from === undefined || table.sourceOf[from] === table.sourceOf[to]) return [];
-    const isAmbiguous = senders.some((index) => table.sourceOf[index] !== table.sourceOf[from]);
-    return isAmbiguous ? [] : [{ from, to, kind: 'message' }];
+    const hasManySenders = senders.some((index) => table.sourceOf[index] !== table.sourceOf[from]);
+    return hasManySenders ? [] : [{ from, to, kind: 'message' }];
   });
 };
 
@@ -71,7 +71,7 @@
 };
 
 const buildAppendEdges = (table: EventTable): readonly Edge[] => {
-  const groups = collectBy(table, (index) => toPositionKey(table, index));
+  const groups = collectIndices(table, (index) => toPositionKey(table, index));
   return [...groups.values()].flatMap((group) => {
     const from = group.find((index) =>
       APPENDING_EVENTS.has(table.events[index]?.name as EventName),
@@ -83,13 +83,13 @@
   });
 };
 
-const collectOffsets = (
-  members: readonly number[],
-  offsetOf: (index: number) => number,
+const collectByOffset = (
+  indices: readonly number[],
+  getOffset: (index: number) => number,
 ): readonly (readonly number[])[] => {
-  const offsets = [...new Set(members.map(offsetOf))].sort((left, right) => left - right);
+  const offsets = [...new Set(indices.map(getOffset))].sort((left, right) => left - right);
   const groups = new Map(offsets.map((offset): [number, number[]] => [offset, []]));
-  for (const index of members) groups.get(offsetOf(index))?.push(index);
+  for (const index of indices) groups.get(getOffset(index))?.push(index);
   return [...groups.values()];
 };
 
@@ -107,33 +107,33 @@
  * that handles several records at once returns to lower offsets, and such an event is as late as
  * the highest one.
  */
-const findFronts = (table: EventTable): readonly number[] => {
-  const fronts = new Map<string, number>();
+const computeHighWatermarks = (table: EventTable): readonly number[] => {
+  const watermarks = new Map<string, number>();
   return table.events.map((event, index) => {
     if (event.position === undefined) return -1;
     const key = JSON.stringify([table.sourceOf[index], event.position.stream]);
-    const front = Math.max(fronts.get(key) ?? -1, event.position.offset);
-    fronts.set(key, front);
-    return front;
+    const watermark = Math.max(watermarks.get(key) ?? -1, event.position.offset);
+    watermarks.set(key, watermark);
+    return watermark;
   });
 };
 
 /** A barrier between two offsets of a stream keeps the number of edges linear in the events. */
 const buildOffsetOrder = (table: EventTable): PartialOrder => {
-  const streams = collectBy(table, (index) => table.events[index]?.position?.stream);
-  const fronts = findFronts(table);
+  const streams = collectIndices(table, (index) => table.events[index]?.position?.stream);
+  const watermarks = computeHighWatermarks(table);
   const edges: Edge[] = [];
-  let nodes = table.events.length;
-  for (const members of streams.values()) {
-    const groups = collectOffsets(members, (index) => fronts[index] ?? -1);
-    groups.slice(1).forEach((after, place) => {
-      const before = groups[place] ?? [];
-      const earlierBarrier = place === 0 ? [] : [nodes - 1];
-      edges.push(...buildBarrier([...before, ...earlierBarrier], nodes, after));
-      nodes += 1;
+  let nodeCount = table.events.length;
+  for (const indices of streams.values()) {
+    const groups = collectByOffset(indices, (index) => watermarks[index] ?? -1);
+    groups.slice(1).forEach((after, index) => {
+      const before = groups[index] ?? [];
+      const earlierBarrier = index === 0 ? [] : [nodeCount - 1];
+      edges.push(...buildBarrier([...before, ...earlierBarrier], nodeCount, after));
+      nodeCount += 1;
     });
   }
-  return { nodes, edges };
+  return { nodeCount, edges };
 };
 
 /**
@@ -146,7 +146,7 @@
 export const buildPartialOrder = (table: EventTable): PartialOrder => {
   const offsets = buildOffsetOrder(table);
   return {
-    nodes: offsets.nodes,
+    nodeCount: offsets.nodeCount,
     edges: [
       ...buildSequenceEdges(table),
       ...buildMessageEdges(table),
--- a/packages/timeline/eventData.ts
+++ b/packages/timeline/eventData.ts
@@ -7,7 +7,7 @@
  * @param name - field
  * @returns the text, or nothing when the event lacks the field
  */
-export const readText = (event: LoggedEvent, name: string): string | undefined => {
+export const readString = (event: LoggedEvent, name: string): string | undefined => {
   const value = event.data?.[name];
   if (value === undefined) return undefined;
   return typeof value === 'object' ? value.join('; ') : String(value);
--- a/packages/timeline/explainMove.ts
+++ b/packages/timeline/explainMove.ts
@@ -1,4 +1,4 @@
-import { readNumber, readText } from './eventData.js';
+import { readNumber, readString } from './eventData.js';
 import type { MoveExplanation, MoveState, MoveStep } from './explainTypes.js';
 import type { MergedEvent } from './types.js';
 import type { EventName } from '../core/events/catalogue.js';
@@ -19,20 +19,21 @@
 
 /** The first terminal record in log order is final; events without offset come after those with. */
 const findTerminal = (events: readonly LoggedEvent[]): LoggedEvent | undefined => {
-  const offsetOf = (event: LoggedEvent): number =>
+  const getOffset = (event: LoggedEvent): number =>
     event.position?.offset ?? Number.POSITIVE_INFINITY;
   return events
     .filter(isTerminal)
     .reduce<LoggedEvent | undefined>(
-      (first, event) => (first === undefined || offsetOf(event) < offsetOf(first) ? event : first),
+      (first, event) =>
+        first === undefined || getOffset(event) < getOffset(first) ? event : first,
       undefined,
     );
 };
 
 const describeStep = (event: LoggedEvent): MoveStep => {
   const share = readNumber(event, 'share');
-  const evidence = readText(event, 'evidence');
-  const reason = readText(event, 'reason');
+  const evidence = readString(event, 'evidence');
+  const reason = readString(event, 'reason');
   return {
     process: event.process,
     name: event.name,
@@ -51,12 +52,12 @@
  * @returns the explanation; its state is `unknown` when no event names the move
  */
 export const explainMove = (events: readonly MergedEvent[], move: string): MoveExplanation => {
-  const own = events
+  const moveEvents = events
     .map(({ event }) => event)
     .filter((event) => event.entity === move && MOVE_EVENTS.has(event.name));
-  const terminal = findTerminal(own);
-  const last = terminal ?? own.at(-1);
-  const steps = own.map(describeStep);
+  const terminal = findTerminal(moveEvents);
+  const last = terminal ?? moveEvents.at(-1);
+  const steps = moveEvents.map(describeStep);
   const lastShare = steps.findLast((step) => step.share !== undefined)?.share;
   const endedAt = terminal?.position?.offset;
   return {
--- a/packages/timeline/explainRequest.ts
+++ b/packages/timeline/explainRequest.ts
@@ -1,7 +1,7 @@
-import { readList, readNumber, readText } from './eventData.js';
+import { readList, readNumber, readString } from './eventData.js';
 import type {
   Attempt,
-  Explanation,
+  RequestExplanation,
   PlacementStep,
   Refusal,
   RequestEnd,
@@ -43,7 +43,7 @@
 };
 
 const readEndpoint = (event: LoggedEvent): string =>
-  event.endpoint ?? readText(event, 'endpoint') ?? 'unknown';
+  event.endpoint ?? readString(event, 'endpoint') ?? 'unknown';
 
 const collectPlacements = (events: readonly LoggedEvent[]): readonly PlacementStep[] =>
   events
@@ -51,8 +51,8 @@
     .map((event) => ({
       process: event.process,
       candidates: readList(event, 'candidates'),
-      chosen: readText(event, 'chosen') ?? event.endpoint ?? 'unknown',
-      reason: readText(event, 'reason') ?? 'not recorded',
+      chosen: readString(event, 'chosen') ?? event.endpoint ?? 'unknown',
+      reason: readString(event, 'reason') ?? 'not recorded',
     }));
 
 const isSameIncarnation = (left: LoggedEvent, right: LoggedEvent): boolean =>
@@ -75,12 +75,12 @@
 };
 
 const describeAttempt = (start: LoggedEvent, end: LoggedEvent | undefined): Attempt => {
-  const code = end && readText(end, 'code');
+  const code = end && readString(end, 'code');
   return {
     process: start.process,
     endpoint: readEndpoint(start),
     ...(start.sent === undefined ? {} : { sent: start.sent }),
-    verdict: end === undefined ? 'in-progress' : (readText(end, 'verdict') ?? 'not recorded'),
+    verdict: end === undefined ? 'in-progress' : (readString(end, 'verdict') ?? 'not recorded'),
     ...(code === undefined ? {} : { code }),
     ...(end === undefined ? {} : { durationMs: end.at - start.at }),
   };
@@ -102,7 +102,7 @@
     {
       process: event.process,
       kind: 'queued',
-      cause: readText(event, 'reason') ?? 'not recorded',
+      cause: readString(event, 'reason') ?? 'not recorded',
       ...(end === undefined ? {} : { durationMs: end.at - event.at }),
     },
   ];
@@ -114,7 +114,7 @@
     {
       process: event.process,
       kind: 'stalled',
-      cause: readText(event, 'cause') ?? 'not recorded',
+      cause: readString(event, 'cause') ?? 'not recorded',
       ...(durationMs === undefined ? {} : { durationMs }),
     },
   ];
@@ -132,9 +132,9 @@
     .map((event) => ({
       process: event.process,
       name: event.name,
-      code: readText(event, 'code') ?? 'not recorded',
-      verdict: readText(event, 'verdict') ?? 'not recorded',
-      reason: readText(event, 'reason') ?? readText(event, 'message') ?? 'not recorded',
+      code: readString(event, 'code') ?? 'not recorded',
+      verdict: readString(event, 'verdict') ?? 'not recorded',
+      reason: readString(event, 'reason') ?? readString(event, 'message') ?? 'not recorded',
     }));
 
 /**
@@ -145,15 +145,20 @@
  * @param requestId - the request
  * @returns the explanation; its end is `unknown` when no event names the request
  */
-export const explainRequest = (events: readonly MergedEvent[], requestId: string): Explanation => {
-  const own = events.map(({ event }) => event).filter((event) => event.requestId === requestId);
+export const explainRequest = (
+  events: readonly MergedEvent[],
+  requestId: string,
+): RequestExplanation => {
+  const requestEvents = events
+    .map(({ event }) => event)
+    .filter((event) => event.requestId === requestId);
   return {
     requestId,
-    end: findEnd(own),
-    placements: collectPlacements(own),
-    attempts: collectAttempts(own),
-    waits: collectWaits(own),
-    refusals: collectRefusals(own),
-    events: own.length,
+    end: findEnd(requestEvents),
+    placements: collectPlacements(requestEvents),
+    attempts: collectAttempts(requestEvents),
+    waits: collectWaits(requestEvents),
+    refusals: collectRefusals(requestEvents),
+    events: requestEvents.length,
   };
 };
--- a/packages/timeline/explainTypes.ts
+++ b/packages/timeline/explainTypes.ts
@@ -45,7 +45,7 @@
 }
 
 /** What happened to one request and why. */
-export interface Explanation {
+export interface RequestExplanation {
   readonly requestId: string;
   readonly end: RequestEnd;
   readonly placements: readonly PlacementStep[];
--- a/packages/timeline/merge.test.ts
+++ b/packages/timeline/merge.test.ts
@@ -77,14 +77,14 @@
     fc.property(historyArbitrary, (input) => {
       const { logs, pairs } = buildHistory(input);
       const merged = mergeTimelines(logs);
-      const places = new Map(merged.map(({ event, order }) => [toId(event), order]));
+      const positions = new Map(merged.map(({ event, order }) => [toId(event), order]));
       const total = logs.reduce((sum, log) => sum + log.events.length, 0);
       return (
         merged.length === total &&
-        places.size === total &&
+        positions.size === total &&
         pairs.every(
           ([first, second]) =>
-            first === second || (places.get(first) ?? -1) < (places.get(second) ?? -1),
+            first === second || (positions.get(first) ?? -1) < (positions.get(second) ?? -1),
         )
       );
     }),
@@ -114,9 +114,9 @@
   const merged = mergeTimelines(cyclic);
   t.is(merged.length, 4);
   for (const process of ['a', 'b']) {
-    const own = merged.filter(({ event }) => event.process === process);
+    const processEvents = merged.filter(({ event }) => event.process === process);
     t.deepEqual(
-      own.map(({ event }) => event.sequence),
+      processEvents.map(({ event }) => event.sequence),
       [0, 1],
     );
   }
--- a/packages/timeline/merge.ts
+++ b/packages/timeline/merge.ts
@@ -9,21 +9,21 @@
 
 const collectCauses = (
   edges: readonly Edge[],
-  places: ReadonlyMap<number, number>,
+  positions: ReadonlyMap<number, number>,
 ): ReadonlyMap<number, readonly Cause[]> => {
   const causes = new Map<number, Cause[]>();
   for (const { from, to, kind } of edges) {
     if (kind !== 'message' && kind !== 'append') continue;
-    const order = places.get(from) ?? 0;
+    const order = positions.get(from) ?? 0;
     // An edge that was left out to break a cycle is not shown as a cause.
-    if (order >= (places.get(to) ?? 0)) continue;
+    if (order >= (positions.get(to) ?? 0)) continue;
     causes.set(to, [...(causes.get(to) ?? []), { order, kind }]);
   }
   return causes;
 };
 
 /** Barriers come as early as they can; events by estimated time, then by process and sequence. */
-const buildComparison =
+const buildComparator =
   (table: EventTable, estimates: readonly number[]) =>
   (left: number, right: number): number => {
     const leftAt = estimates[left] ?? Number.NEGATIVE_INFINITY;
@@ -46,20 +46,20 @@
     (event, index) => event.at - (offsets[table.sourceOf[index] ?? 0] ?? 0),
   );
   const order = buildPartialOrder(table);
-  const nodes = sortNodes(order, buildComparison(table, estimates));
+  const nodes = sortNodes(order, buildComparator(table, estimates));
   const sorted = nodes.filter((node) => node < table.events.length);
-  const places = new Map(sorted.map((index, place) => [index, place]));
-  const causes = collectCauses(order.edges, places);
-  return sorted.map((index, place) => ({
-    order: place,
+  const positions = new Map(sorted.map((index, position) => [index, position]));
+  const causes = collectCauses(order.edges, positions);
+  return sorted.map((index, position) => ({
+    order: position,
     event: table.events[index] as LoggedEvent,
     estimatedAt: estimates[index] ?? 0,
     causes: causes.get(index) ?? [],
   }));
 };
 
-const hasValue = (wanted: string | undefined, ...values: readonly unknown[]): boolean =>
-  wanted === undefined || values.includes(wanted);
+const hasExpectedValue = (expected: string | undefined, ...values: readonly unknown[]): boolean =>
+  expected === undefined || values.includes(expected);
 
 /**
  * Selects the events that match all given fields. The order stays that of the whole merge.
@@ -74,8 +74,8 @@
 ): readonly MergedEvent[] =>
   events.filter(
     ({ event }) =>
-      hasValue(selection.requestId, event.requestId) &&
-      hasValue(selection.endpoint, event.endpoint, event.data?.endpoint) &&
-      hasValue(selection.dataCentre, event.dataCentre, event.data?.dataCentre) &&
-      hasValue(selection.entity, event.entity, event.data?.entity),
+      hasExpectedValue(selection.requestId, event.requestId) &&
+      hasExpectedValue(selection.endpoint, event.endpoint, event.data?.endpoint) &&
+      hasExpectedValue(selection.dataCentre, event.dataCentre, event.data?.dataCentre) &&
+      hasExpectedValue(selection.entity, event.entity, event.data?.entity),
   );
--- a/packages/timeline/order.ts
+++ b/packages/timeline/order.ts
@@ -2,7 +2,7 @@
 import type { CauseKind } from './types.js';
 
 /** Kinds by the strength of their evidence; of a cycle the weakest edge is left out. */
-const STRENGTH: Readonly<Record<CauseKind, number>> = {
+const EVIDENCE_STRENGTH: Readonly<Record<CauseKind, number>> = {
   offset: 0,
   append: 1,
   message: 2,
@@ -10,16 +10,16 @@
 };
 
 /** Edges of a node that are still to be met, updated in place while the nodes are placed. */
-interface Progress {
+interface SortState {
   readonly outgoing: readonly Edge[][];
   readonly incoming: readonly Set<Edge>[];
   readonly ready: Set<number>;
   readonly placed: Set<number>;
 }
 
-const createProgress = (order: PartialOrder): Progress => {
-  const outgoing = Array.from({ length: order.nodes }, (): Edge[] => []);
-  const incoming = Array.from({ length: order.nodes }, () => new Set<Edge>());
+const createSortState = (order: PartialOrder): SortState => {
+  const outgoing = Array.from({ length: order.nodeCount }, (): Edge[] => []);
+  const incoming = Array.from({ length: order.nodeCount }, () => new Set<Edge>());
   for (const edge of order.edges) {
     outgoing[edge.from]?.push(edge);
     incoming[edge.to]?.add(edge);
@@ -31,42 +31,42 @@
   return { outgoing, incoming, ready, placed: new Set() };
 };
 
-const removeEdge = (progress: Progress, edge: Edge): void => {
-  const edges = progress.incoming[edge.to];
+const removeEdge = (state: SortState, edge: Edge): void => {
+  const edges = state.incoming[edge.to];
   if (edges === undefined || !edges.delete(edge)) return;
-  if (edges.size === 0 && !progress.placed.has(edge.to)) progress.ready.add(edge.to);
+  if (edges.size === 0 && !state.placed.has(edge.to)) state.ready.add(edge.to);
 };
 
 /** Walks against the edges from a node that cannot be placed until a node repeats. */
-const findCycle = (progress: Progress, start: number): readonly Edge[] => {
+const findCycle = (state: SortState, start: number): readonly Edge[] => {
   const walked: Edge[] = [];
-  const seenAt = new Map<number, number>();
+  const firstSteps = new Map<number, number>();
   let node = start;
-  while (!seenAt.has(node)) {
-    seenAt.set(node, walked.length);
-    const [edge] = progress.incoming[node] ?? [];
+  while (!firstSteps.has(node)) {
+    firstSteps.set(node, walked.length);
+    const [edge] = state.incoming[node] ?? [];
     if (edge === undefined) return [];
     walked.push(edge);
     node = edge.from;
   }
-  return walked.slice(seenAt.get(node));
+  return walked.slice(firstSteps.get(node));
 };
 
 /** Leaves out the weakest edge of a cycle behind a node that cannot be placed. */
-const resolveCycle = (progress: Progress, blocked: number): void => {
-  const [first, ...others] = findCycle(progress, blocked);
+const removeWeakestEdge = (state: SortState, blocked: number): void => {
+  const [first, ...others] = findCycle(state, blocked);
   if (first === undefined) throw new Error(`node ${blocked.toString()} is blocked by no cycle`);
   const weakest = others.reduce(
-    (best, edge) => (STRENGTH[edge.kind] < STRENGTH[best.kind] ? edge : best),
+    (best, edge) => (EVIDENCE_STRENGTH[edge.kind] < EVIDENCE_STRENGTH[best.kind] ? edge : best),
     first,
   );
-  removeEdge(progress, weakest);
+  removeEdge(state, weakest);
 };
 
-const addPlaced = (progress: Progress, node: number): void => {
-  progress.ready.delete(node);
-  progress.placed.add(node);
-  for (const edge of progress.outgoing[node] ?? []) removeEdge(progress, edge);
+const placeNode = (state: SortState, node: number): void => {
+  state.ready.delete(node);
+  state.placed.add(node);
+  for (const edge of state.outgoing[node] ?? []) removeEdge(state, edge);
 };
 
 const pickFirst = (
@@ -92,18 +92,18 @@
   order: PartialOrder,
   compare: (left: number, right: number) => number,
 ): readonly number[] => {
-  const progress = createProgress(order);
+  const state = createSortState(order);
   const sorted: number[] = [];
   // A node whose edges are met stays so, and the search for a blocked node never goes back.
   let blocked = 0;
-  while (sorted.length < order.nodes) {
-    const node = pickFirst(progress.ready, compare);
+  while (sorted.length < order.nodeCount) {
+    const node = pickFirst(state.ready, compare);
     if (node === undefined) {
-      while ((progress.incoming[blocked]?.size ?? 1) === 0) blocked += 1;
-      resolveCycle(progress, blocked);
+      while ((state.incoming[blocked]?.size ?? 1) === 0) blocked += 1;
+      removeWeakestEdge(state, blocked);
       continue;
     }
-    addPlaced(progress, node);
+    placeNode(state, node);
     sorted.push(node);
   }
   return sorted;
--- a/packages/timeline/renderExplanation.ts
+++ b/packages/timeline/renderExplanation.ts
@@ -1,6 +1,6 @@
 import type {
   Attempt,
-  Explanation,
+  RequestExplanation,
   MoveExplanation,
   MoveStep,
   PlacementStep,
@@ -38,7 +38,7 @@
  * @param explanation - explanation
  * @returns lines of text
  */
-export const renderExplanationText = (explanation: Explanation): string =>
+export const renderExplanationText = (explanation: RequestExplanation): string =>
   [
     `request ${explanation.requestId}: ${explanation.end}, ${explanation.events.toString()} events`,
     ...renderSection('placements', explanation.placements.flatMap(renderPlacement)),
--- a/packages/timeline/renderHtml.ts
+++ b/packages/timeline/renderHtml.ts
@@ -6,9 +6,9 @@
 const ROW_HEIGHT_PX = 22;
 const LANE_START_PX = 24;
 /** Height of the row of process names above the first event. */
-const TOP_PX = 48;
+const HEADER_HEIGHT_PX = 48;
 /** Longest label beside an event; the details show the whole text. */
-const LABEL_CHARACTERS = 34;
+const MAX_LABEL_CHARACTERS = 34;
 
 const ESCAPES: Readonly<Record<string, string>> = {
   '&': '&amp;',
@@ -18,20 +18,20 @@
   "'": '&#39;',
 };
 
-const encodeText = (text: string): string =>
+const encodeHtml = (text: string): string =>
   // Control characters other than tab and line feed are not allowed in HTML.
   text
     .replace(/[&<>"']/g, (character) => ESCAPES[character] ?? '')
     .replace(/[\u0000-\u0008\u000b-\u001f\u007f]/g, '\ufffd');
 
-interface Place {
+interface Point {
   readonly x: number;
   readonly y: number;
 }
 
 interface Layout {
   readonly processes: readonly string[];
-  readonly places: ReadonlyMap<number, Place>;
+  readonly points: ReadonlyMap<number, Point>;
   readonly width: number;
   readonly height: number;
 }
@@ -39,15 +39,15 @@
 const buildLayout = (events: readonly MergedEvent[]): Layout => {
   const processes = [...new Set(events.map(({ event }) => event.process))].sort();
   const lanes = new Map(processes.map((process, lane) => [process, lane]));
-  const places = events.map(({ event, order }, row): [number, Place] => {
+  const points = events.map(({ event, order }, row): [number, Point] => {
     const x = LANE_START_PX + (lanes.get(event.process) ?? 0) * LANE_WIDTH_PX;
-    return [order, { x, y: TOP_PX + row * ROW_HEIGHT_PX }];
+    return [order, { x, y: HEADER_HEIGHT_PX + row * ROW_HEIGHT_PX }];
   });
   return {
     processes,
-    places: new Map(places),
+    points: new Map(points),
     width: LANE_START_PX + Math.max(1, processes.length) * LANE_WIDTH_PX,
-    height: TOP_PX + (events.length + 1) * ROW_HEIGHT_PX,
+    height: HEADER_HEIGHT_PX + (events.length + 1) * ROW_HEIGHT_PX,
   };
 };
 
@@ -55,13 +55,13 @@
   const x = (LANE_START_PX + lane * LANE_WIDTH_PX).toString();
   return [
     `<line class="lane" x1="${x}" x2="${x}" y1="32" y2="100%"/>`,
-    `<text class="lane-name" x="${x}" y="22">${encodeText(process)}</text>`,
+    `<text class="lane-name" x="${x}" y="22">${encodeHtml(process)}</text>`,
   ].join('\n');
 };
 
 const renderArrow = (cause: Cause, to: MergedEvent, layout: Layout): string => {
-  const start = layout.places.get(cause.order);
-  const end = layout.places.get(to.order);
+  const start = layout.points.get(cause.order);
+  const end = layout.points.get(to.order);
   if (start === undefined || end === undefined) return '';
   const middle = ((start.y + end.y) / 2).toString();
   const [x1, y1, x2, y2] = [start.x, start.y, end.x, end.y].map(String);
@@ -72,7 +72,9 @@
 const formatLabel = (merged: MergedEvent): string => {
   const { name, requestId, entity } = merged.event;
   const label = [name, requestId ?? entity ?? ''].join(' ').trim();
-  return label.length <= LABEL_CHARACTERS ? label : `${label.slice(0, LABEL_CHARACTERS - 1)}…`;
+  return label.length <= MAX_LABEL_CHARACTERS
+    ? label
+    : `${label.slice(0, MAX_LABEL_CHARACTERS - 1)}…`;
 };
 
 const formatDetails = ({ event, order, estimatedAt, causes }: MergedEvent): string =>
@@ -80,24 +82,24 @@
 
 const renderEvent = (merged: MergedEvent, layout: Layout): string => {
   const { event, order } = merged;
-  const { x, y } = layout.places.get(order) ?? { x: 0, y: 0 };
+  const { x, y } = layout.points.get(order) ?? { x: 0, y: 0 };
   const summary = `${event.process} ${describeEvent(event)}`;
   const attributes = [
-    `class="event ${encodeText(event.level)}"`,
+    `class="event ${encodeHtml(event.level)}"`,
     'tabindex="0"',
     `data-order="${order.toString()}"`,
     `data-x="${x.toString()}"`,
-    `data-text="${encodeText(summary)}"`,
-    `data-details="${encodeText(formatDetails(merged))}"`,
+    `data-text="${encodeHtml(summary)}"`,
+    `data-details="${encodeHtml(formatDetails(merged))}"`,
     `transform="translate(${x.toString()} ${y.toString()})"`,
   ].join(' ');
-  const label = encodeText(formatLabel(merged));
-  return `<g ${attributes}><title>${encodeText(summary)}</title><circle r="5"/><text x="10" y="4">${label}</text></g>`;
+  const label = encodeHtml(formatLabel(merged));
+  return `<g ${attributes}><title>${encodeHtml(summary)}</title><circle r="5"/><text x="10" y="4">${label}</text></g>`;
 };
 
 const renderSvg = (events: readonly MergedEvent[], layout: Layout): string =>
   [
-    `<svg id="timeline" width="${layout.width.toString()}" height="${layout.height.toString()}" data-row-height="${ROW_HEIGHT_PX.toString()}" data-top="${TOP_PX.toString()}">`,
+    `<svg id="timeline" width="${layout.width.toString()}" height="${layout.height.toString()}" data-row-height="${ROW_HEIGHT_PX.toString()}" data-top="${HEADER_HEIGHT_PX.toString()}">`,
     '<defs><marker id="head" viewBox="0 0 8 8" refX="12" refY="4" markerWidth="7" markerHeight="7" orient="auto"><path d="M0 0 L8 4 L0 8 z" fill="#5b7083"/></marker></defs>',
     ...layout.processes.map(renderLane),
     ...events.flatMap((merged) =>
@@ -122,11 +124,11 @@
     '<head>',
     '<meta charset="utf-8">',
     `<meta http-equiv="Content-Security-Policy" content="default-src 'none'; style-src 'unsafe-inline'; script-src 'unsafe-inline'">`,
-    `<title>${encodeText(title)}</title>`,
+    `<title>${encodeHtml(title)}</title>`,
     `<style>${PAGE_STYLE}</style>`,
     '</head>',
     '<body>',
-    `<header><h1>${encodeText(title)}</h1><label>Filter <input id="filter" type="search" placeholder="words that an event must contain"></label> <span id="count">${events.length.toString()} events</span></header>`,
+    `<header><h1>${encodeHtml(title)}</h1><label>Filter <input id="filter" type="search" placeholder="words that an event must contain"></label> <span id="count">${events.length.toString()} events</span></header>`,
     `<main><div id="lanes">${renderSvg(events, buildLayout(events))}</div><pre id="details">Click an event for its details.</pre></main>`,
     `<script>${PAGE_SCRIPT}</script>`,
     '</body>',
--- a/packages/timeline/renderText.ts
+++ b/packages/timeline/renderText.ts
@@ -37,10 +37,10 @@
     ['received', event.received],
     ...Object.entries(event.data ?? {}),
   ];
-  const texts = fields.flatMap(([name, value]) =>
+  const parts = fields.flatMap(([name, value]) =>
     value === undefined ? [] : [`${name}=${formatValue(value)}`],
   );
-  return [event.name, ...texts].join(' ');
+  return [event.name, ...parts].join(' ');
 };
 
 const formatCauses = ({ causes }: MergedEvent): string =>
@@ -55,14 +55,14 @@
  * @returns lines with order, estimated time, process, name and fields
  */
 export const renderTimelineText = (events: readonly MergedEvent[]): string => {
-  const width = events.reduce((most, { event }) => Math.max(most, event.process.length), 0);
+  const width = events.reduce((longest, { event }) => Math.max(longest, event.process.length), 0);
   return events
     .map((merged) => {
       const { event, order, estimatedAt } = merged;
-      const place = `#${order.toString()}`.padEnd(7);
+      const position = `#${order.toString()}`.padEnd(7);
       const process = event.process.padEnd(width);
       const text = `${describeEvent(event)}${formatCauses(merged)}`;
-      return `${place} ${formatTime(estimatedAt)} ${process} ${text}\n`;
+      return `${position} ${formatTime(estimatedAt)} ${process} ${text}\n`;
     })
     .join('');
 };
--- a/packages/timeline/sources.ts
+++ b/packages/timeline/sources.ts
@@ -16,7 +16,7 @@
   readonly sourceOf: readonly number[];
 }
 
-const compareText = (left: string, right: string): number =>
+const compareStrings = (left: string, right: string): number =>
   left < right ? -1 : left > right ? 1 : 0;
 
 const mergeSequences = (lists: readonly (readonly LoggedEvent[])[]): readonly LoggedEvent[] => {
@@ -45,8 +45,8 @@
     }))
     .sort(
       (left, right) =>
-        compareText(left.process, right.process) ||
-        compareText(left.incarnation, right.incarnation),
+        compareStrings(left.process, right.process) ||
+        compareStrings(left.incarnation, right.incarnation),
     );
   return {
     sources,
