Reword the timeline and its explanations

'What puts one event before another', offsets 'met', ends 'named' by events and 'what spoke for' an endpoint were figurative. The comments speak of causes, offsets seen, events that refer to a request and the reason of a placement. The constants of the topological sort say that edges are removed.

--- a/packages/timeline/clocks.ts
+++ b/packages/timeline/clocks.ts
@@ -2,9 +2,9 @@
 import type { EventTable } from './sources.js';
 import type { Millis } from '../core/clock.js';
 
-/** Bounds of the difference between two clocks, from the messages between their processes. */
+/** Bounds on the difference between two clocks, derived from messages between the processes. */
 interface ClockBounds {
-  /** Smallest possible reading of the second clock minus that of the first. */
+  /** Smallest possible difference: reading of the second clock minus that of the first. */
   readonly low: Millis;
   readonly high: Millis;
 }
@@ -13,7 +13,10 @@
 
 const UNBOUNDED: ClockBounds = { low: Number.NEGATIVE_INFINITY, high: Number.POSITIVE_INFINITY };
 
-/** A message that left at `a` and arrived at `b` shows that the clocks differ by at most b - a. */
+/**
+ * Derives the bounds from the messages: one sent at `a` and received at `b`, each by the local
+ * clock, shows that the receiver's clock is at most b - a ahead of the sender's.
+ */
 const collectBounds = (table: EventTable): BoundsTable => {
   const bounds = new Map<number, Map<number, ClockBounds>>();
   const narrowBounds = (first: number, second: number, low: Millis, high: Millis): void => {
@@ -32,7 +35,10 @@
   return bounds;
 };
 
-/** Takes the middle when messages went both ways, else the tightest message as without delay. */
+/**
+ * Estimates a clock difference: the midpoint of the bounds when messages went both ways, otherwise
+ * the only bound, which assumes that its message had no delay.
+ */
 const estimateDifference = (bounds: ClockBounds): Millis => {
   if (bounds.low === UNBOUNDED.low) return bounds.high;
   if (bounds.high === UNBOUNDED.high) return bounds.low;
@@ -45,7 +51,7 @@
   readonly bounds: ClockBounds;
 }
 
-/** The link to a source not yet reached whose clock difference is known best. */
+/** Picks the link with the narrowest bounds from a reached source to one not yet reached. */
 const pickTightestLink = (
   bounds: BoundsTable,
   reached: ReadonlyMap<number, Millis>,
@@ -64,11 +70,12 @@
 };
 
 /**
- * Estimates how far each process's clock is ahead of that of the first process it exchanges
- * messages with, directly or through others.
+ * Estimates how far each process's clock is ahead of the reference clock: that of the first source
+ * with which the process exchanged messages, directly or through other processes.
  *
  * @param table - events of all processes
- * @returns offset of each source's clock in milliseconds; 0 for a source without messages
+ * @returns offset of each source's clock in milliseconds; 0 for the reference and for a source
+ *   without messages
  */
 export const estimateClockOffsets = (table: EventTable): readonly Millis[] => {
   const bounds = collectBounds(table);
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -2,21 +2,24 @@
 import type { EventTable } from './sources.js';
 import type { EventName } from '../core/events/catalogue.js';
 
-/** One node comes before another. Nodes are event indices; higher ones are offset barriers. */
+/**
+ * States that one node precedes another. A node is the index of an event; numbers past the last
+ * event are barriers between log offsets.
+ */
 export interface Edge {
   readonly from: number;
   readonly to: number;
   readonly kind: CauseKind;
 }
 
-/** The partial order of the events. */
+/** Partial order of the events as a directed graph. */
 export interface PartialOrder {
-  /** Number of nodes: the events and one barrier for each log offset. */
+  /** Number of nodes: the events and the barriers between log offsets. */
   readonly nodeCount: number;
   readonly edges: readonly Edge[];
 }
 
-/** Events that a process logs when its own append was answered. */
+/** Events that a process logs when the log confirms its own append. */
 const APPENDING_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
   'intent-appended',
   'outcome-appended',
@@ -46,13 +49,13 @@
   });
 
 /**
- * Builds the edges from each message's sending to its arrival.
+ * Builds an edge from the sending of each message to its receipt.
  *
- * An id that one process sent several times counts from its first sending; an id that several
- * processes sent does not tell which message arrived and gives no edge.
+ * For an id that one process sent several times, the edge starts at the first sending. An id sent by
+ * several processes is ambiguous and gets no edge.
  *
  * @param table - events of all processes
- * @returns one edge for each arrival in another process
+ * @returns one edge for each receipt in another process
  */
 export const buildMessageEdges = (table: EventTable): readonly Edge[] => {
   const sends = collectIndices(table, (index) => table.events[index]?.sent);
@@ -103,9 +106,9 @@
 ];
 
 /**
- * Finds for each event the highest offset that its process had met in the event's stream. A process
- * that handles several records at once returns to lower offsets, and such an event is as late as
- * the highest one.
+ * Computes for each event the highest offset that its process had seen in the event's stream. A
+ * process that handles several records concurrently logs lower offsets after higher ones; such an
+ * event is ordered by the highest offset seen before it.
  */
 const computeHighWatermarks = (table: EventTable): readonly number[] => {
   const watermarks = new Map<string, number>();
@@ -118,7 +121,10 @@
   });
 };
 
-/** A barrier between two offsets of a stream keeps the number of edges linear in the events. */
+/**
+ * Orders the events of each stream by offset. A barrier node between consecutive offsets keeps the
+ * number of edges linear in the number of events.
+ */
 const buildOffsetOrder = (table: EventTable): PartialOrder => {
   const streams = collectIndices(table, (index) => table.events[index]?.position?.stream);
   const watermarks = computeHighWatermarks(table);
@@ -137,11 +143,12 @@
 };
 
 /**
- * Builds the partial order of the events: each process's own sequence, messages from sending to
- * arrival, appends before their readers, and lower offsets of a stream before higher ones.
+ * Builds the partial order of the events: the sequence of each process, the sending of a message
+ * before its receipt, an append before the reads of its record, and lower offsets of a stream before
+ * higher ones.
  *
  * @param table - events of all processes
- * @returns nodes and edges; the edges of the last two kinds can contradict the others
+ * @returns nodes and edges; append and offset edges can contradict the others and each other
  */
 export const buildPartialOrder = (table: EventTable): PartialOrder => {
   const offsets = buildOffsetOrder(table);
--- a/packages/timeline/eventData.ts
+++ b/packages/timeline/eventData.ts
@@ -1,11 +1,11 @@
 import type { LoggedEvent } from '../core/events/types.js';
 
 /**
- * Reads one field of an event's data as text.
+ * Reads a field of an event's data as a string. The items of a list are joined with "; ".
  *
  * @param event - event
- * @param name - field
- * @returns the text, or nothing when the event lacks the field
+ * @param name - name of the field
+ * @returns the string, or undefined when the event does not have the field
  */
 export const readString = (event: LoggedEvent, name: string): string | undefined => {
   const value = event.data?.[name];
@@ -14,11 +14,11 @@
 };
 
 /**
- * Reads one field of an event's data as a number.
+ * Reads a field of an event's data as a number.
  *
  * @param event - event
- * @param name - field
- * @returns the number, or nothing when the event has no number there
+ * @param name - name of the field
+ * @returns the number, or undefined when the field is missing or not a number
  */
 export const readNumber = (event: LoggedEvent, name: string): number | undefined => {
   const value = event.data?.[name];
@@ -26,11 +26,11 @@
 };
 
 /**
- * Reads one field of an event's data as a list.
+ * Reads a field of an event's data as a list.
  *
  * @param event - event
- * @param name - field
- * @returns the items; a single text is a list of one
+ * @param name - name of the field
+ * @returns the items; a single value becomes a list of one, a missing field an empty list
  */
 export const readList = (event: LoggedEvent, name: string): readonly string[] => {
   const value = event.data?.[name];
--- a/packages/timeline/explainMove.ts
+++ b/packages/timeline/explainMove.ts
@@ -4,7 +4,7 @@
 import type { EventName } from '../core/events/catalogue.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** Events of a move with the state that each leaves it in. */
+/** Events of a move and the state of the move after each. */
 const MOVE_EVENTS: ReadonlyMap<EventName, MoveState> = new Map([
   ['move-started', 'running'],
   ['move-share-changed', 'running'],
@@ -17,7 +17,7 @@
 const isTerminal = (event: LoggedEvent): boolean =>
   event.name === 'move-done' || event.name === 'move-taken-back';
 
-/** The first terminal record in log order is final; events without offset come after those with. */
+/** Finds the terminal event with the lowest log offset; events without an offset sort last. */
 const findTerminal = (events: readonly LoggedEvent[]): LoggedEvent | undefined => {
   const getOffset = (event: LoggedEvent): number =>
     event.position?.offset ?? Number.POSITIVE_INFINITY;
@@ -45,11 +45,11 @@
 };
 
 /**
- * Explains one version move: its shares with the evidence for each, and why it ended.
+ * Explains one version move: its traffic shares with the evidence for each, and why it ended.
  *
  * @param events - merged events of all processes
  * @param move - name of the move
- * @returns the explanation; its state is `unknown` when no event names the move
+ * @returns the explanation; its state is `unknown` when no event refers to the move
  */
 export const explainMove = (events: readonly MergedEvent[], move: string): MoveExplanation => {
   const moveEvents = events
--- a/packages/timeline/explainRequest.ts
+++ b/packages/timeline/explainRequest.ts
@@ -11,7 +11,7 @@
 import type { EventName } from '../core/events/catalogue.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** Events that end a caller's request, with the end they mean. */
+/** Events that end a caller's request and the outcome that each stands for. */
 const END_EVENTS: ReadonlyMap<EventName, RequestEnd> = new Map([
   ['request-finished', 'finished'],
   ['request-failed', 'failed'],
@@ -28,7 +28,7 @@
   'intent-void',
 ]);
 
-/** Events that follow a wait in the queue. */
+/** Events that end the wait of a request in the queue. */
 const QUEUE_END_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
   'request-placed',
   'request-failed',
@@ -58,7 +58,7 @@
 const isSameIncarnation = (left: LoggedEvent, right: LoggedEvent): boolean =>
   left.process === right.process && left.incarnation === right.incarnation;
 
-/** An attempt ends with the next end for its endpoint in the same process. */
+/** Matches each attempt with the next end event of its endpoint in the same process. */
 const findAttemptEnds = (events: readonly LoggedEvent[]): ReadonlyMap<LoggedEvent, LoggedEvent> => {
   const open: LoggedEvent[] = [];
   const ends = new Map<LoggedEvent, LoggedEvent>();
@@ -138,12 +138,12 @@
     }));
 
 /**
- * Explains one request: which endpoints were weighed, what spoke for the chosen one, how each
- * attempt ended, where it waited and why it was refused.
+ * Explains one request: which endpoints were candidates, why one of them was chosen, how each
+ * attempt ended, where the request waited and why it was refused.
  *
  * @param events - merged events of all processes
- * @param requestId - the request
- * @returns the explanation; its end is `unknown` when no event names the request
+ * @param requestId - id of the request
+ * @returns the explanation; its end is `unknown` when no event refers to the request
  */
 export const explainRequest = (
   events: readonly MergedEvent[],
--- a/packages/timeline/explainTypes.ts
+++ b/packages/timeline/explainTypes.ts
@@ -1,33 +1,33 @@
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
 
-/** How a request ended, as far as the events tell. */
+/** How a request ended according to its events. */
 export type RequestEnd =
   'finished' | 'failed' | 'cancelled' | 'shed' | 'replayed' | 'in-progress' | 'unknown';
 
-/** One choice of an endpoint. */
+/** One placement decision for a request. */
 export interface PlacementStep {
   readonly process: string;
-  /** Endpoints that were weighed, each with its score. */
+  /** Endpoints that were considered, each with its score. */
   readonly candidates: readonly string[];
   readonly chosen: string;
-  /** What spoke for the chosen endpoint. */
+  /** Why the endpoint was chosen. */
   readonly reason: string;
 }
 
-/** One sending of the request to an endpoint daemon. */
+/** One attempt to run the request at an endpoint daemon. */
 export interface Attempt {
   readonly process: string;
   readonly endpoint: string;
-  /** Id of the message, to find it in the endpoint daemon's events. */
+  /** Id of the sent message, which the endpoint daemon's events refer to. */
   readonly sent?: string;
   readonly verdict: string;
   readonly code?: string;
-  /** Duration by the sender's own clock; absent while the attempt runs. */
+  /** Duration by the sender's clock; absent while the attempt is in progress. */
   readonly durationMs?: Millis;
 }
 
-/** A time without progress. */
+/** A period in which the request made no progress. */
 export interface Wait {
   readonly process: string;
   readonly kind: 'queued' | 'stalled';
@@ -35,7 +35,7 @@
   readonly durationMs?: Millis;
 }
 
-/** A refusal on the way; the last one is what the caller got when the request failed. */
+/** A refusal of the request; if the request failed, the caller received the last one. */
 export interface Refusal {
   readonly process: string;
   readonly name: EventName;
@@ -52,11 +52,11 @@
   readonly attempts: readonly Attempt[];
   readonly waits: readonly Wait[];
   readonly refusals: readonly Refusal[];
-  /** Number of events that name the request. */
+  /** Number of events that refer to the request. */
   readonly events: number;
 }
 
-/** Where a version move stands. */
+/** State of a version move. */
 export type MoveState = 'running' | 'done' | 'taken-back' | 'needs-operator' | 'unknown';
 
 /** One event of a move. */
--- a/packages/timeline/htmlParts.ts
+++ b/packages/timeline/htmlParts.ts
@@ -1,4 +1,4 @@
-/** Style of the page; it names no external resource. */
+/** Style sheet of the page; it refers to no external resource. */
 export const PAGE_STYLE = `
 body { margin: 0; font: 13px/1.4 system-ui, sans-serif; color: #1d2733; background: #fff; }
 header { position: sticky; top: 0; z-index: 2; padding: 8px 12px; background: #f2f4f7; border-bottom: 1px solid #cfd6de; }
@@ -21,8 +21,8 @@
 `;
 
 /**
- * Script of the page: the filter box moves the matching events together and redraws the arrows
- * between them; a click or Enter shows the details of an event.
+ * Script of the page. The filter box hides the events that do not match, closes the gaps and redraws
+ * the arrows between the rest; a click or Enter shows the details of an event.
  */
 export const PAGE_SCRIPT = `
 'use strict';
--- a/packages/timeline/merge.ts
+++ b/packages/timeline/merge.ts
@@ -15,14 +15,17 @@
   for (const { from, to, kind } of edges) {
     if (kind !== 'message' && kind !== 'append') continue;
     const order = positions.get(from) ?? 0;
-    // An edge that was left out to break a cycle is not shown as a cause.
+    // An edge that was removed to break a cycle is not reported as a cause.
     if (order >= (positions.get(to) ?? 0)) continue;
     causes.set(to, [...(causes.get(to) ?? []), { order, kind }]);
   }
   return causes;
 };
 
-/** Barriers come as early as they can; events by estimated time, then by process and sequence. */
+/**
+ * Orders barriers first, so that they delay no event, and events by estimated time. Ties are broken
+ * by index, that is by process, incarnation and sequence number.
+ */
 const buildComparator =
   (table: EventTable, estimates: readonly number[]) =>
   (left: number, right: number): number => {
@@ -33,11 +36,11 @@
   };
 
 /**
- * Merges the events of many processes into one causal order. Clocks only decide between events
- * that neither a sequence, a message nor a log offset orders.
+ * Merges the events of many processes into one causal order. Estimated times only decide between
+ * events that are not ordered by a sequence, a message or a log offset.
  *
  * @param logs - events of the processes, in any order
- * @returns all events; the same logs give the same order
+ * @returns all events; the result does not depend on the order of the logs
  */
 export const mergeTimelines = (logs: readonly ProcessLog[]): readonly MergedEvent[] => {
   const table = collectSources(logs);
@@ -62,10 +65,10 @@
   expected === undefined || values.includes(expected);
 
 /**
- * Selects the events that match all given fields. The order stays that of the whole merge.
+ * Selects the events that match every field of a selection. They keep their merged order numbers.
  *
  * @param events - merged events
- * @param selection - wanted values; an empty selection matches all
+ * @param selection - required values; an empty selection matches every event
  * @returns the matching events
  */
 export const selectEvents = (
--- a/packages/timeline/order.ts
+++ b/packages/timeline/order.ts
@@ -1,7 +1,7 @@
 import type { Edge, PartialOrder } from './edges.js';
 import type { CauseKind } from './types.js';
 
-/** Kinds by the strength of their evidence; of a cycle the weakest edge is left out. */
+/** Strength of the evidence of each kind of edge; the weakest edge of a cycle is removed. */
 const EVIDENCE_STRENGTH: Readonly<Record<CauseKind, number>> = {
   offset: 0,
   append: 1,
@@ -9,7 +9,7 @@
   sequence: 3,
 };
 
-/** Edges of a node that are still to be met, updated in place while the nodes are placed. */
+/** Remaining edges and placed nodes of a topological sort, updated in place. */
 interface SortState {
   readonly outgoing: readonly Edge[][];
   readonly incoming: readonly Set<Edge>[];
@@ -37,7 +37,7 @@
   if (edges.size === 0 && !state.placed.has(edge.to)) state.ready.add(edge.to);
 };
 
-/** Walks against the edges from a node that cannot be placed until a node repeats. */
+/** Follows incoming edges backwards from a blocked node until a node repeats. */
 const findCycle = (state: SortState, start: number): readonly Edge[] => {
   const walked: Edge[] = [];
   const firstSteps = new Map<number, number>();
@@ -52,10 +52,11 @@
   return walked.slice(firstSteps.get(node));
 };
 
-/** Leaves out the weakest edge of a cycle behind a node that cannot be placed. */
+/** Removes the weakest edge of a cycle that blocks a node. */
 const removeWeakestEdge = (state: SortState, blocked: number): void => {
   const [first, ...others] = findCycle(state, blocked);
-  if (first === undefined) throw new Error(`node ${blocked.toString()} is blocked by no cycle`);
+  if (first === undefined)
+    throw new Error(`node ${blocked.toString()} is blocked, but no cycle was found`);
   const weakest = others.reduce(
     (best, edge) => (EVIDENCE_STRENGTH[edge.kind] < EVIDENCE_STRENGTH[best.kind] ? edge : best),
     first,
@@ -81,12 +82,12 @@
 };
 
 /**
- * Sorts the nodes so that every edge goes forward. Where edges contradict each other, the weakest
- * edge of each cycle is left out.
+ * Sorts the nodes topologically. Where edges contradict each other, the weakest edge of each cycle
+ * is removed.
  *
  * @param order - partial order
- * @param compare - order of nodes that no edge decides; must be total
- * @returns all nodes, first to last
+ * @param compare - total order that decides between nodes without remaining incoming edges
+ * @returns all nodes in order
  */
 export const sortNodes = (
   order: PartialOrder,
@@ -94,7 +95,7 @@
 ): readonly number[] => {
   const state = createSortState(order);
   const sorted: number[] = [];
-  // A node whose edges are met stays so, and the search for a blocked node never goes back.
+  // Removed edges are never added again, so the search for a blocked node only moves forward.
   let blocked = 0;
   while (sorted.length < order.nodeCount) {
     const node = pickFirst(state.ready, compare);
--- a/packages/timeline/renderExplanation.ts
+++ b/packages/timeline/renderExplanation.ts
@@ -9,11 +9,11 @@
 } from './explainTypes.js';
 
 const formatDuration = (durationMs: number | undefined): string =>
-  durationMs === undefined ? 'and goes on' : `for ${durationMs.toFixed(1)} ms`;
+  durationMs === undefined ? 'without a recorded end' : `for ${durationMs.toFixed(1)} ms`;
 
 const renderPlacement = (step: PlacementStep): readonly string[] => [
   `  ${step.process} chose ${step.chosen}: ${step.reason}`,
-  ...step.candidates.map((candidate) => `    weighed ${candidate}`),
+  ...step.candidates.map((candidate) => `    candidate ${candidate}`),
 ];
 
 const renderAttempt = (attempt: Attempt): string => {
@@ -33,9 +33,9 @@
   lines.length === 0 ? [] : [title, ...lines];
 
 /**
- * Renders the explanation of a request for people.
+ * Renders the explanation of a request as human-readable text.
  *
- * @param explanation - explanation
+ * @param explanation - explanation of the request
  * @returns lines of text
  */
 export const renderExplanationText = (explanation: RequestExplanation): string =>
@@ -59,9 +59,9 @@
 };
 
 /**
- * Renders the explanation of a version move for people.
+ * Renders the explanation of a version move as human-readable text.
  *
- * @param explanation - explanation
+ * @param explanation - explanation of the move
  * @returns lines of text
  */
 export const renderMoveText = (explanation: MoveExplanation): string => {
--- a/packages/timeline/renderHtml.ts
+++ b/packages/timeline/renderHtml.ts
@@ -5,9 +5,9 @@
 const LANE_WIDTH_PX = 260;
 const ROW_HEIGHT_PX = 22;
 const LANE_START_PX = 24;
-/** Height of the row of process names above the first event. */
+/** Height of the row with the process names, above the first event. */
 const HEADER_HEIGHT_PX = 48;
-/** Longest label beside an event; the details show the whole text. */
+/** Longest label beside an event; longer ones are cut, and the details show the full text. */
 const MAX_LABEL_CHARACTERS = 34;
 
 const ESCAPES: Readonly<Record<string, string>> = {
@@ -110,12 +110,12 @@
   ].join('\n');
 
 /**
- * Renders merged events as one HTML page with a lane for each process. The page needs no other
- * file, and its policy lets it load none.
+ * Renders merged events as a self-contained HTML page with a lane for each process. The content
+ * security policy of the page forbids loading any resource.
  *
  * @param events - events in merged order
  * @param title - heading of the page
- * @returns the page
+ * @returns the HTML document
  */
 export const renderTimelineHtml = (events: readonly MergedEvent[], title: string): string =>
   [
--- a/packages/timeline/renderText.ts
+++ b/packages/timeline/renderText.ts
@@ -9,10 +9,11 @@
 };
 
 /**
- * Formats an instant. Times that are no date, as of a virtual clock, stay numbers.
+ * Formats a point in time. A number outside the range of dates, as a virtual clock can produce, is
+ * formatted as a number.
  *
  * @param at - milliseconds since the epoch
- * @returns ISO time, or the number
+ * @returns ISO 8601 time, or the number as a string
  */
 export const formatTime = (at: number): string => {
   const date = new Date(at);
@@ -20,10 +21,10 @@
 };
 
 /**
- * Describes what an event tells, without its process and time.
+ * Describes an event by its name and fields, without its process and time.
  *
- * @param event - one event
- * @returns name and fields on one line
+ * @param event - event
+ * @returns the description on one line
  */
 export const describeEvent = (event: LoggedEvent): string => {
   const position = event.position;
@@ -52,7 +53,7 @@
  * Renders merged events as text, one line each.
  *
  * @param events - events in merged order
- * @returns lines with order, estimated time, process, name and fields
+ * @returns lines with order, estimated time, process, name, fields and causes
  */
 export const renderTimelineText = (events: readonly MergedEvent[]): string => {
   const width = events.reduce((longest, { event }) => Math.max(longest, event.process.length), 0);
--- a/packages/timeline/renderTimeline.ts
+++ b/packages/timeline/renderTimeline.ts
@@ -3,16 +3,16 @@
 import type { MergedEvent } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-/** Form of a rendered time line. */
+/** Output format of a timeline. */
 export type TimelineFormat = 'text' | 'json' | 'html';
 
 /**
- * Renders merged events.
+ * Renders merged events in one of the output formats.
  *
  * @param events - events in merged order
- * @param format - form of the result
- * @param title - heading of an HTML page
- * @returns the document
+ * @param format - output format
+ * @param title - heading of the HTML page; unused in the other formats
+ * @returns the rendered timeline
  */
 export const renderTimeline = (
   events: readonly MergedEvent[],
--- a/packages/timeline/sources.ts
+++ b/packages/timeline/sources.ts
@@ -1,14 +1,14 @@
 import type { ProcessLog } from './types.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** One incarnation of a process; its events follow each other in its own sequence. */
+/** One incarnation of a process, with its events in sequence order. */
 export interface Source {
   readonly process: string;
   readonly incarnation: string;
   readonly events: readonly LoggedEvent[];
 }
 
-/** Events of all sources in one list; an index into it names an event. */
+/** Events of all sources in one list; an event is identified by its index in the list. */
 export interface EventTable {
   readonly sources: readonly Source[];
   readonly events: readonly LoggedEvent[];
@@ -25,11 +25,11 @@
 };
 
 /**
- * Collects the logs into one source for each incarnation of a process. Logs that overlap, as two
- * reads of one daemon do, are joined by sequence number.
+ * Groups the logs into one source for each incarnation of a process. Overlapping logs, such as two
+ * reads from the same daemon, are merged by sequence number.
  *
  * @param logs - logs in any order
- * @returns the events in the order of process, incarnation and sequence
+ * @returns sources and events, sorted by process, incarnation and sequence number
  */
 export const collectSources = (logs: readonly ProcessLog[]): EventTable => {
   const groups = new Map<string, ProcessLog[]>();
--- a/packages/timeline/testEvents.ts
+++ b/packages/timeline/testEvents.ts
@@ -5,9 +5,9 @@
  * Builds an event for a test.
  *
  * @param process - name of the process
- * @param sequence - place in the process's sequence
- * @param at - reading of the process's clock
- * @param details - fields of the event
+ * @param sequence - sequence number within the process
+ * @param at - time on the process's clock
+ * @param details - optional fields of the event
  * @param name - name of the event
  * @returns the event
  */
@@ -33,7 +33,7 @@
  * Builds the log of a process for a test.
  *
  * @param process - name of the process
- * @param events - its events
+ * @param events - events of the process
  * @returns the log
  */
 export const buildLog = (process: string, events: readonly LoggedEvent[]): ProcessLog => ({
--- a/packages/timeline/types.ts
+++ b/packages/timeline/types.ts
@@ -2,7 +2,7 @@
 import type { LoggedEvent, ProcessRole } from '../core/events/types.js';
 import type { Incarnation } from '../core/ids.js';
 
-/** Events of one incarnation of a process, as `/debug/events` gives them. */
+/** Events of one incarnation of a process, as returned by `/debug/events`. */
 export interface ProcessLog {
   readonly process: string;
   readonly role: ProcessRole;
@@ -10,27 +10,27 @@
   readonly events: readonly LoggedEvent[];
 }
 
-/** What puts one event before another. */
+/** Reason why one event precedes another. */
 export type CauseKind = 'sequence' | 'message' | 'append' | 'offset';
 
-/** An event of another process that must come first. */
+/** An event of another process that precedes this one. */
 export interface Cause {
   /** `order` of the earlier event. */
   readonly order: number;
   readonly kind: Extract<CauseKind, 'message' | 'append'>;
 }
 
-/** One event with its place in the merged order. */
+/** An event with its position in the merged order. */
 export interface MergedEvent {
-  /** Place in the merged order, from 0. */
+  /** Position in the merged order, from 0. */
   readonly order: number;
   readonly event: LoggedEvent;
-  /** The process's clock reading, corrected by the estimated offset of its clock. */
+  /** Time on the process's own clock minus the estimated offset of that clock. */
   readonly estimatedAt: Millis;
   readonly causes: readonly Cause[];
 }
 
-/** Which events are shown; all given fields must match. */
+/** Filter on events; an event must match every field that is set. */
 export interface EventSelection {
   readonly requestId?: string;
   readonly endpoint?: string;
