--- a/packages/load/arrivals/buildArrivals.ts
+++ b/packages/load/arrivals/buildArrivals.ts
@@ -6,7 +6,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { RandomSource } from '../../core/random.js';
 
-/** Part of the run with a constant rate. */
+/** Part of the run with a constant arrival rate. */
 interface RatePeriod {
   readonly fromMs: Millis;
   readonly untilMs: Millis;
@@ -30,7 +30,7 @@
   }));
 };
 
-/** Draws the times of a Poisson process; it has no memory, so each period starts afresh. */
+/** Samples the times of a Poisson process. It is memoryless, so periods are sampled separately. */
 const sampleTimes = (period: RatePeriod, random: RandomSource): readonly Millis[] => {
   if (period.perSecond <= 0) return [];
   const times: Millis[] = [];
@@ -78,11 +78,11 @@
 };
 
 /**
- * Generates all arrivals of a run in advance. Times depend on the seed alone and never on how fast
- * the system answers, so that slow service cannot thin out the load that shows it.
+ * Generates all arrivals of a run in advance. The arrival times depend only on the scenario and its
+ * seed, not on response times: a slow system must not reduce the load that reveals its slowness.
  *
  * @param scenario - classes, customers, phases and seed
- * @returns the arrivals in order of time
+ * @returns the arrivals, sorted by time
  */
 export const buildArrivals = (scenario: Scenario): readonly Arrival[] => {
   const { classes, customers, phases, durationMs, seed } = scenario;
--- a/packages/load/arrivals/lengths.ts
+++ b/packages/load/arrivals/lengths.ts
@@ -5,16 +5,16 @@
 const toTokenCount = (value: number, min: number, max: number): number =>
   Math.round(Math.min(max, Math.max(min, value)));
 
-/** Draws from the standard normal distribution by the Box-Muller transform. */
+/** Samples the standard normal distribution with the Box-Muller transform. */
 const sampleNormal = (random: RandomSource): number =>
   Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
 
 /**
- * Draws a length.
+ * Samples a length in tokens.
  *
- * @param distribution - distribution
- * @param random - source of chance
- * @returns tokens
+ * @param distribution - distribution of the length
+ * @param random - random source
+ * @returns the number of tokens
  */
 export const sampleLength = (distribution: LengthDistribution, random: RandomSource): number => {
   switch (distribution.kind) {
--- a/packages/load/arrivals/types.ts
+++ b/packages/load/arrivals/types.ts
@@ -1,14 +1,14 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, CustomerId, ModelName } from '../../core/ids.js';
 
-/** What one request asks for. */
+/** The work of a request: a generation or a call of a plain service. */
 export type Work =
   | {
       readonly kind: 'generation';
       readonly model: ModelName;
       readonly route: string | undefined;
       readonly delivery: 'stream' | 'whole';
-      /** Number of the prompt prefix that the request shares with others. */
+      /** Number of the prompt prefix; requests of a class with the same number share the prefix. */
       readonly prefix: number;
       readonly promptTokens: number;
       readonly outputTokens: number;
@@ -21,9 +21,9 @@
       readonly amount: number;
     };
 
-/** One request with its intended time, fixed before the run starts. */
+/** A request with its intended arrival time, both fixed before the run starts. */
 export interface Arrival {
-  /** Order in the whole run, from 0. */
+  /** Position in the order of all arrivals of the run, from 0. */
   readonly number: number;
   /** Time since the start of the run. */
   readonly atMs: Millis;
--- a/packages/load/client/callEntry.ts
+++ b/packages/load/client/callEntry.ts
@@ -6,7 +6,7 @@
 import type { Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** One call of an entry daemon. */
+/** An HTTP call to an entry daemon. */
 export interface EntryCall {
   readonly url: string;
   readonly method: 'GET' | 'POST';
@@ -15,11 +15,11 @@
   readonly signal: AbortSignal;
   readonly dispatcher: Dispatcher;
   readonly now: () => Millis;
-  /** Receives each part of a generation, with the resume ticket that came with it. */
+  /** Receives each part of a generation and, from a stream, the resume ticket sent with it. */
   readonly onText: (text: string, at: Millis, ticket: string | undefined) => void;
 }
 
-/** How one call ended; a broken call may be made again. */
+/** How a call ended; a `broken` call can be retried. */
 export type CallEnd = Outcome | { readonly kind: 'broken'; readonly reason: string };
 
 const PROBLEM_SCHEMA = z.object({
@@ -36,7 +36,7 @@
   choices: z.array(z.object({ message: z.object({ content: z.string().nullish() }) })).min(1),
 });
 
-const END_MARKER = '[DONE]';
+const STREAM_END_MARKER = '[DONE]';
 
 const parseJson = (text: string): unknown => {
   try {
@@ -46,7 +46,10 @@
   }
 };
 
-/** Reads a failure; one without a verdict is no answer of this system. */
+/**
+ * Converts an error response. Every error response of an entry daemon has a verdict, so one without
+ * it counts as no answer.
+ */
 const toFailure = (value: unknown, status: number): CallEnd => {
   const problem = PROBLEM_SCHEMA.safeParse(value);
   if (!problem.success) {
@@ -61,11 +64,11 @@
   call: EntryCall,
   at: Millis,
 ): CallEnd | 'open' => {
-  if (message.data === END_MARKER) return { kind: 'finished', answer: null };
+  if (message.data === STREAM_END_MARKER) return { kind: 'finished', answer: null };
   const value = parseJson(message.data);
   if (message.event === 'error') return toFailure(value, 200);
   const chunk = CHUNK_SCHEMA.safeParse(value);
-  if (!chunk.success) return { kind: 'no-answer', reason: 'a chunk of another form' };
+  if (!chunk.success) return { kind: 'no-answer', reason: 'the chunk does not match the schema' };
   const text = chunk.data.choices.map(({ delta }) => delta?.content ?? '').join('');
   if (text !== '') call.onText(text, at, message.id);
   return 'open';
@@ -87,10 +90,12 @@
     at = call.now();
     parser.feed(decoder.decode(bytes as Uint8Array, { stream: true }));
   }
-  return end === 'open' ? { kind: 'broken', reason: 'the stream ended without its end mark' } : end;
+  return end === 'open'
+    ? { kind: 'broken', reason: 'the stream ended without its end marker' }
+    : end;
 };
 
-const readCompletion = async (
+const readWholeResponse = async (
   response: Dispatcher.ResponseData,
   call: EntryCall,
 ): Promise<CallEnd> => {
@@ -103,10 +108,10 @@
 };
 
 /**
- * Calls an entry daemon once and reads its answer.
+ * Calls an entry daemon once and reads the response.
  *
- * @param call - request and receiver of its text
- * @returns how the call ended
+ * @param call - request and callback for the generated text
+ * @returns how the call ended; connection errors are returned as `broken`
  */
 export const performCall = async (call: EntryCall): Promise<CallEnd> => {
   try {
@@ -119,7 +124,7 @@
     });
     const contentType = response.headers['content-type'];
     const isStream = typeof contentType === 'string' && contentType.startsWith('text/event-stream');
-    return await (isStream ? readStream(response.body, call) : readCompletion(response, call));
+    return await (isStream ? readStream(response.body, call) : readWholeResponse(response, call));
   } catch (error) {
     return { kind: 'broken', reason: error instanceof Error ? error.message : String(error) };
   }
--- a/packages/load/client/caller.ts
+++ b/packages/load/client/caller.ts
@@ -7,18 +7,18 @@
 import type { HttpRequest } from './requestText.js';
 import type { Arrival } from '../arrivals/types.js';
 import { RETRY_BACKOFF_STEP_MS, MAX_CALLS_PER_REQUEST } from '../constants.js';
-import type { Cluster, LoadEvent, Outcome } from '../types.js';
+import type { TargetCluster, LoadEvent, Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** What all calls of a run share. */
+/** Options that all calls of a run share. */
 export interface CallerOptions {
   readonly run: string;
-  readonly cluster: Pick<Cluster, 'entryUrls' | 'customerKeys'>;
+  readonly cluster: Pick<TargetCluster, 'entryUrls' | 'customerKeys'>;
   readonly dispatcher: Dispatcher;
   readonly signal: AbortSignal;
   /** Time since the start of the run. */
   readonly now: () => Millis;
-  /** Start of the run, since the epoch. */
+  /** Start of the run, in milliseconds since the epoch. */
   readonly startedAt: Millis;
   readonly post: (event: LoadEvent) => void;
 }
@@ -48,16 +48,16 @@
   return headers;
 };
 
-/** Picks the entry daemon of a call, as a balancer without health checks would. */
+/** Picks the entry daemon of a call in turn, like a load balancer without health checks. */
 const pickEntry = (urls: readonly string[], number: number): string =>
   urls[number % urls.length] as string;
 
 /**
- * Sends one request and, when its connection breaks, calls the next entry daemon: with the resume
- * ticket once a token was shown, else with the same request and the same key.
+ * Sends one request. When a call breaks, the next entry daemon is called: with the resume ticket if
+ * one was received with a token, otherwise with the same request and the same idempotency key.
  *
- * @param arrival - what to ask for
- * @param options - cluster, clock and receiver of events
+ * @param arrival - request to send
+ * @param options - cluster, clock and event receiver
  */
 export const runRequest = async (arrival: Arrival, options: CallerOptions): Promise<void> => {
   const { number } = arrival;
--- a/packages/load/client/requestText.ts
+++ b/packages/load/client/requestText.ts
@@ -14,12 +14,12 @@
 const FILLER = 'The ledger of the day follows. ';
 
 /**
- * Renders a prompt of a wanted length whose first part is the same for all requests with one
- * prefix number.
+ * Renders a prompt of a given length. Requests of a class with the same prefix number share its
+ * first part.
  *
  * @param className - class of the request
  * @param work - prefix number and length
- * @param number - number of the arrival, which makes the rest of the prompt its own
+ * @param number - number of the arrival, which makes the rest of the prompt unique
  * @returns the prompt
  */
 export const renderPrompt = (className: string, work: GenerationWork, number: number): string => {
@@ -47,10 +47,10 @@
 });
 
 /**
- * Renders the HTTP request of an arrival.
+ * Builds the HTTP request of an arrival.
  *
- * @param arrival - what to ask for
- * @param key - idempotency key of calls with an effect
+ * @param arrival - class and work of the request
+ * @param key - idempotency key, used by non-repeatable calls
  * @returns method, path and body
  */
 export const buildHttpRequest = (arrival: Arrival, key: string): HttpRequest => {
--- a/packages/load/constants.ts
+++ b/packages/load/constants.ts
@@ -1,20 +1,23 @@
-/** Period of the engines' counters in the series. */
+/** Interval at which the engines' counters are sampled. */
 export const SAMPLE_PERIOD_MS = 500;
 
-/** Width of one point of the series of requests. */
+/** Interval that one point of the request series covers. */
 export const SERIES_STEP_MS = 1_000;
 
-/** Calls that one request makes at the most, with resumes. */
+/** Maximum number of calls for one request, including resumes. */
 export const MAX_CALLS_PER_REQUEST = 6;
 
-/** Wait before the next call of one request; it grows with each call. */
+/**
+ * Step of the linear back-off between calls of a request. The first retry is immediate, and each
+ * further one waits a step longer.
+ */
 export const RETRY_BACKOFF_STEP_MS = 100;
 
-/** Keys that are looked up at a service at one time. */
+/** Maximum number of concurrent inspection requests. */
 export const INSPECTION_CONCURRENCY = 32;
 
-/** Time after which a page of a stand-in counts as unanswered. */
+/** Timeout of a request for a page of a stand-in. */
 export const PAGE_TIMEOUT_MS = 2_000;
 
-/** Longest time that a histogram holds. */
+/** Longest duration that a histogram records; longer ones are recorded as this value. */
 export const MAX_MEASURED_MS = 600_000;
--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -16,7 +16,7 @@
 import { runLoad } from './runLoad.js';
 import { loadScenario, parseScenario } from './scenario/loadScenario.js';
 import type { Scenario } from './scenario/types.js';
-import type { Cluster } from './types.js';
+import type { TargetCluster } from './types.js';
 import { writeReport } from './writeReport.js';
 import { startEngineStandin } from '../standins/engine/startEngineStandin.js';
 import { startLedgerStandin } from '../standins/ledger/startLedgerStandin.js';
@@ -72,8 +72,8 @@
 const parseSmallScenario = (overrides: object = {}): Scenario =>
   parseScenario(JSON.stringify({ ...SMALL_SCENARIO, ...overrides })).unwrap();
 
-// Guards against scenario files that the schema no longer accepts.
-test('the scenario files are valid and long-tailed', (t) => {
+// Guards against scenario files that the schema no longer accepts or that generate little load.
+test('the scenario files are valid and generate load', (t) => {
   for (const file of readdirSync('app/scenarios')) {
     const scenario = loadScenario(join('app/scenarios', file)).unwrap();
     t.is(`${scenario.name}.jsonc`, file);
@@ -82,8 +82,8 @@
   }
 });
 
-// Guards against a mistake in a scenario that is reported without its place.
-test('problems of a scenario name their line', (t) => {
+// Guards against a problem in a scenario that is reported without its location.
+test('problems of a scenario are reported with path and line', (t) => {
   const text = JSON.stringify({ ...SMALL_SCENARIO, seed: 'five' }, undefined, 1);
   const problems = parseScenario(text).unwrapErr();
   t.deepEqual(
@@ -92,8 +92,8 @@
   );
 });
 
-// Guards against arrivals that depend on anything but the seed, and against wrong rates.
-test('arrivals are repeatable, in order and follow rates, phases and shares', (t) => {
+// Guards against arrivals that depend on anything but scenario and seed, and against wrong rates.
+test('arrivals are reproducible, sorted and follow rates, phases and shares', (t) => {
   const scenario = parseSmallScenario({
     durationMs: 100_000,
     phases: [{ name: 'quiet', untilMs: 50_000, rates: { lookups: 0.1 } }],
@@ -118,8 +118,8 @@
   );
 });
 
-// Guards against lengths outside their bounds or without a tail.
-test('sampled lengths keep their bounds and their median', (t) => {
+// Guards against sampled lengths that exceed their bounds or lack the long tail.
+test('sampled lengths respect bounds, median and tail', (t) => {
   const random = createRandomSource(2);
   const lengths = { kind: 'log-normal', median: 100, sigma: 1, min: 5, max: 2_000 } as const;
   const sampled = Array.from({ length: 4_000 }, () => sampleLength(lengths, random)).sort(
@@ -130,8 +130,8 @@
   t.true((sampled[3_960] ?? 0) > 800);
 });
 
-// Guards against a checker that misses a lost, doubled, reordered or foreign token.
-test('every change of a token sequence is found', (t) => {
+// Guards against a check that misses a lost, duplicated or foreign token.
+test('every change of a token sequence is detected', (t) => {
   const render = (generation: string, length: number): string[] =>
     Array.from({ length }, (_, index) =>
       index === 0 ? `g${generation} ` : `w${index.toString()} `,
@@ -147,8 +147,9 @@
       tokens.toSpliced(index, 0, 'x '),
       tokens.toSpliced(index + 1, 0, 'gcd2 '),
     ];
-    if (listFaults(tokens, length).length > 0) throw new Error('a whole answer has faults');
-    if (listFaults([tokens.join('')], length).length > 0) throw new Error('chunks matter');
+    if (listFaults(tokens, length).length > 0) throw new Error('a correct answer has faults');
+    if (listFaults([tokens.join('')], length).length > 0)
+      throw new Error('the division into chunks changes the result');
     for (const changed of faulty) {
       if (listFaults(changed, length).length === 0) throw new Error(changed.join(''));
     }
@@ -160,22 +161,22 @@
   t.pass();
 });
 
-// Guards against verdicts that are believed without a look at the executions.
-test('executions are compared with the verdict that the caller got', (t) => {
+// Guards against verdicts that are trusted without a check of the executions.
+test('executions are compared with the verdict that the caller received', (t) => {
   const record = (outcome: RequestRecord['outcome']) =>
     ({ outcome, calledAgain: [] }) as unknown as RequestRecord;
   const failed = (verdict: 'not-run' | 'may-have-run' | 'ran') =>
     record({ kind: 'failed', verdict, code: 'x', status: 500 });
   t.is(checkExecutions(failed('may-have-run'), 2), 'ran-twice');
-  t.is(checkExecutions(failed('may-have-run'), 1), 'kept');
+  t.is(checkExecutions(failed('may-have-run'), 1), 'none');
   t.is(checkExecutions(failed('not-run'), 1), 'not-run-but-ran');
   t.is(checkExecutions(failed('ran'), 0), 'ran-but-not-run');
   t.is(checkExecutions(record({ kind: 'finished', answer: null }), 0), 'ran-but-not-run');
   t.is(checkRefusedGeneration(failed('not-run'), 1), 'not-run-but-ran');
 });
 
-// Guards against version shares that go wrong when an engine's process starts again.
-test('version shares count starts between samples', (t) => {
+// Guards against wrong version shares when an engine's process and its counters restart.
+test('version shares are computed from the starts between samples', (t) => {
   const counters = (engine: string, startedByVersion: Record<string, number>) =>
     ({ engine, startedByVersion }) as unknown as EngineCounters;
   const shares = computeVersionShares([
@@ -189,7 +190,7 @@
   );
 });
 
-/** Starts a stand-in of an entry daemon that passes everything on, with an optional fault. */
+/** Starts a fake entry daemon that forwards all requests to stand-ins, with an optional fault. */
 const startCluster = async (fault: 'none' | 'double-tokens' | 'double-calls') => {
   const engine = await startEngineStandin({ warmUpMs: 0, rampMs: 0, stepBaseMs: 2 });
   const ledger = await startLedgerStandin();
@@ -223,7 +224,7 @@
       await (await forward(`${ledger.url}/sweeps`, incoming, 'POST')).body.dump();
     return answer(reply, await forward(`${ledger.url}/sweeps`, incoming, 'POST'));
   });
-  const cluster: Cluster = {
+  const cluster: TargetCluster = {
     entryUrls: [await entry.listen({ host: '127.0.0.1', port: 0 })],
     customerKeys: { large: 'k1', small: 'k2' },
     engineUrls: { e1: engine.url },
@@ -240,8 +241,8 @@
   return { cluster, close };
 };
 
-// Guards against a generator that loses requests, results that do not add up and broken plots.
-test('a run against stand-ins gives a whole result and its plots', async (t) => {
+// Guards against lost requests, inconsistent results and plots that are not rendered.
+test('a run against stand-ins produces a complete result and its plots', async (t) => {
   const { cluster, close } = await startCluster('none');
   t.teardown(close);
   const scenario = parseSmallScenario({
@@ -272,8 +273,8 @@
   for (const path of paths.slice(1)) t.regex(readFileSync(path, 'utf8'), /^<svg/);
 });
 
-// Guards against a generator that reports a broken promise as a finished request.
-test('doubled tokens and doubled calls are violations', async (t) => {
+// Guards against a violated promise that is reported only as a finished request.
+test('duplicate tokens and duplicate executions are violations', async (t) => {
   for (const [fault, kind] of [
     ['double-tokens', 'duplicate-token'],
     ['double-calls', 'ran-twice'],
--- a/packages/load/performAction.ts
+++ b/packages/load/performAction.ts
@@ -1,7 +1,7 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { ScheduledAction } from './scenario/types.js';
-import type { Cluster } from './types.js';
+import type { TargetCluster } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
 const postFault = async (
@@ -9,7 +9,7 @@
   fault: unknown,
   dispatcher: Dispatcher,
 ): Promise<void> => {
-  if (base === undefined) throw new Error('the cluster has no stand-in of this id');
+  if (base === undefined) throw new Error('the cluster has no stand-in with this id');
   const { statusCode, body } = await request(`${base}/faults`, {
     dispatcher,
     method: 'POST',
@@ -21,17 +21,17 @@
 };
 
 /**
- * Carries out a scheduled action: faults of stand-ins over their own interface, the rest through
- * the cluster.
+ * Performs a scheduled action. Faults of stand-ins are posted to the stand-in; process faults and
+ * operator actions go through the cluster.
  *
- * @param action - what to do
+ * @param action - action to perform
  * @param cluster - addresses and process control
- * @param dispatcher - connections
- * @throws Error when the action could not be carried out
+ * @param dispatcher - HTTP connections
+ * @throws Error when the action could not be performed
  */
 export const performAction = async (
   action: ScheduledAction,
-  cluster: Cluster,
+  cluster: TargetCluster,
   dispatcher: Dispatcher,
 ): Promise<void> => {
   switch (action.kind) {
--- a/packages/load/plots/plotSpecs.ts
+++ b/packages/load/plots/plotSpecs.ts
@@ -3,7 +3,7 @@
 import type { ClassResult, RunResult } from '../results/types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-/** Plots of a report. */
+/** Names of the plots of a report. */
 export type PlotName =
   | 'first-token'
   | 'token-gap'
@@ -142,7 +142,7 @@
 /**
  * Builds the specification of a plot.
  *
- * @param name - which plot
+ * @param name - name of the plot
  * @param results - one result for each policy
  * @returns the vega-lite specification
  */
--- a/packages/load/plots/renderPlot.ts
+++ b/packages/load/plots/renderPlot.ts
@@ -3,7 +3,7 @@
 import type { TopLevelSpec } from 'vega-lite';
 
 /**
- * Renders a plot.
+ * Renders a plot as SVG.
  *
  * @param spec - vega-lite specification
  * @returns the SVG document
--- a/packages/load/requests/answerCheck.ts
+++ b/packages/load/requests/answerCheck.ts
@@ -1,4 +1,4 @@
-/** What is wrong with the tokens of an answer. */
+/** Fault in the token sequence of an answer. */
 export type TokenFault =
   | 'duplicate-token'
   | 'missing-token'
@@ -7,7 +7,7 @@
   | 'short-answer'
   | 'long-answer';
 
-/** Tokens of one answer so far. */
+/** State of the check of an answer, up to the last token received. */
 export interface AnswerCheck {
   /** Id of the generation, empty before the first token. */
   readonly generation: string;
@@ -17,7 +17,7 @@
 
 export const EMPTY_ANSWER: AnswerCheck = { generation: '', nextNumber: 0, faults: [] };
 
-/** Token texts of the engine stand-in: `g<id>` first, then `w1`, `w2` and so on. */
+/** Token format of the engine stand-in: `g<generation id>` first, then `w1`, `w2` and so on. */
 const TOKEN_PATTERN = /^(?:g(?<generation>[0-9a-f-]+)|w(?<number>[1-9][0-9]*))$/;
 
 const addFault = (check: AnswerCheck, fault: TokenFault): AnswerCheck =>
@@ -46,22 +46,22 @@
   text.split(' ').filter((token) => token !== '');
 
 /**
- * Checks that the next part of an answer goes on from the last one: each token once, in order and
+ * Checks that the next part of an answer continues the previous one: each token once, in order and
  * from a single generation.
  *
- * @param check - answer so far
- * @param text - whole tokens, each with its trailing space
- * @returns the answer with the part, and any fault
+ * @param check - state before the part
+ * @param text - complete tokens, each with its trailing space
+ * @returns the state after the part, with any faults found
  */
 export const checkText = (check: AnswerCheck, text: string): AnswerCheck =>
   parseTokens(text).reduce(checkToken, check);
 
 /**
- * Checks the length of an answer that claims to be whole.
+ * Checks the length of an answer that was reported as complete.
  *
- * @param check - all tokens
- * @param requestedTokens - tokens that the request asked for
- * @returns the answer with any fault of its length
+ * @param check - state after the last part
+ * @param requestedTokens - number of tokens that the request specified
+ * @returns the state, with a fault if the length is wrong
  */
 export const checkLength = (check: AnswerCheck, requestedTokens: number): AnswerCheck => {
   if (check.nextNumber < requestedTokens) return addFault(check, 'short-answer');
--- a/packages/load/requests/executionCheck.ts
+++ b/packages/load/requests/executionCheck.ts
@@ -1,7 +1,7 @@
 import type { RequestRecord, Violation } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
-/** Why a number of executions breaks a promise, or `kept`. */
+/** Violations that the number of executions can reveal. */
 type ExecutionViolation = Extract<
   Violation['kind'],
   'ran-twice' | 'not-run-but-ran' | 'ran-but-not-run'
@@ -10,20 +10,20 @@
 const checkVerdict = (
   verdict: 'not-run' | 'may-have-run' | 'ran',
   count: number,
-): ExecutionViolation | 'kept' => {
+): ExecutionViolation | 'none' => {
   switch (verdict) {
     case 'not-run':
-      return count === 0 ? 'kept' : 'not-run-but-ran';
+      return count === 0 ? 'none' : 'not-run-but-ran';
     case 'ran':
-      return count === 1 ? 'kept' : 'ran-but-not-run';
+      return count === 1 ? 'none' : 'ran-but-not-run';
     case 'may-have-run':
-      return 'kept';
+      return 'none';
     default:
       return assertNever(verdict);
   }
 };
 
-const checkOutcome = (record: RequestRecord, count: number): ExecutionViolation | 'kept' => {
+const checkOutcome = (record: RequestRecord, count: number): ExecutionViolation | 'none' => {
   const { outcome } = record;
   switch (outcome.kind) {
     case 'finished':
@@ -33,37 +33,38 @@
     case 'no-answer':
     case 'unfinished':
     case 'open':
-      return 'kept';
+      return 'none';
     default:
       return assertNever(outcome);
   }
 };
 
 /**
- * Checks the executions of a non-repeatable call against what its caller was told.
+ * Checks the number of executions of a non-repeatable call against the outcome that its caller
+ * received.
  *
  * @param record - request and its outcome
- * @param count - executions at all services
- * @returns the broken promise, or `kept`
+ * @param count - number of executions over all services
+ * @returns the violation, or `none`
  */
 export const checkExecutions = (
   record: RequestRecord,
   count: number,
-): ExecutionViolation | 'kept' => (count > 1 ? 'ran-twice' : checkOutcome(record, count));
+): ExecutionViolation | 'none' => (count > 1 ? 'ran-twice' : checkOutcome(record, count));
 
 /**
- * Checks that a generation that was refused as `not-run` was started at no engine. A request that
- * was sent again is left out, because an earlier call may have run.
+ * Checks that a generation that was refused as `not-run` was not started by any engine. A request
+ * that was retried is not checked, because an earlier call may have run.
  *
  * @param record - request and its outcome
- * @param count - generations with its request id at all engines
- * @returns the broken promise, or `kept`
+ * @param count - number of generations with its request id over all engines
+ * @returns the violation, or `none`
  */
 export const checkRefusedGeneration = (
   record: RequestRecord,
   count: number,
-): ExecutionViolation | 'kept' => {
+): ExecutionViolation | 'none' => {
   const { outcome, calledAgain } = record;
-  if (outcome.kind !== 'failed' || outcome.verdict !== 'not-run') return 'kept';
-  return count === 0 || calledAgain.length > 0 ? 'kept' : 'not-run-but-ran';
+  if (outcome.kind !== 'failed' || outcome.verdict !== 'not-run') return 'none';
+  return count === 0 || calledAgain.length > 0 ? 'none' : 'not-run-but-ran';
 };
--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName } from '../../core/ids.js';
 
-/** Figures of one histogram, in milliseconds. */
+/** Statistics of one histogram, in milliseconds. */
 export interface Percentiles {
   readonly count: number;
   readonly mean: Millis;
@@ -15,10 +15,10 @@
   readonly max: Millis;
 }
 
-/** What is measured of each class. */
+/** Latencies that are measured for each class. */
 export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
 
-/** Sums of one class. */
+/** Totals of one class: stalls, their summed gaps and tokens received. */
 export interface ClassTotals {
   readonly stalls: number;
   readonly stallMs: Millis;
@@ -26,8 +26,8 @@
 }
 
 /**
- * Histograms and sums by class. A run records millions of gaps, so they are updated in place and
- * owned by the requests child alone.
+ * Histograms and totals by class. They are updated in place, because a run records millions of
+ * gaps, and only the requests child uses them.
  */
 export interface Measures {
   readonly record: (className: ClassName, name: MeasureName, ms: Millis) => void;
--- a/packages/load/requests/requestsChild.ts
+++ b/packages/load/requests/requestsChild.ts
@@ -13,7 +13,7 @@
 
 type RequestsStep = Step<RequestsState, LoadEffect>;
 
-/** What the requests child knows of the scenario. */
+/** Parts of the scenario that the requests child uses. */
 export interface RequestsContext {
   readonly run: string;
   readonly settleMs: Millis;
@@ -64,7 +64,7 @@
   return toStep(state);
 };
 
-/** Finds what an answer of a plain service gets wrong. */
+/** Describes what is wrong with the answer of a plain service; empty when it is correct. */
 const describeWrongAnswer = (record: RequestRecord, answer: unknown, key: string): string => {
   const { work } = record.arrival;
   switch (work.kind) {
@@ -73,12 +73,12 @@
     case 'lookup': {
       const balance = BALANCE_SCHEMA.safeParse(answer);
       if (balance.success && balance.data.account === work.account) return '';
-      return `asked for ${work.account}, got ${JSON.stringify(answer)}`;
+      return `requested ${work.account}, received ${JSON.stringify(answer)}`;
     }
     case 'execution': {
       const execution = EXECUTION_SCHEMA.safeParse(answer);
       if (execution.success && execution.data.key === key) return '';
-      return `asked with ${key}, got ${JSON.stringify(answer)}`;
+      return `requested with key ${key}, received ${JSON.stringify(answer)}`;
     }
     default:
       return assertNever(work);
@@ -94,12 +94,12 @@
   const requestId = formatRequestId(context.run, number);
   const isFinishedGeneration = outcome.kind === 'finished' && work.kind === 'generation';
   const check = isFinishedGeneration ? checkLength(record.check, work.outputTokens) : record.check;
-  const tokenCount = `${record.check.nextNumber.toString()} tokens`;
+  const lengthDetail = `${record.check.nextNumber.toString()} tokens`;
   const violations = check.faults.map((kind) => ({
     kind,
     requestId,
     className,
-    detail: tokenCount,
+    detail: lengthDetail,
   }));
   const detail =
     outcome.kind === 'finished' ? describeWrongAnswer(record, outcome.answer, requestId) : '';
@@ -116,7 +116,7 @@
 ): void => {
   if (outcome.kind !== 'finished' || !isMeasured(record, context)) return;
   const { className, atMs } = record.arrival;
-  // A plain service's answer comes at once, so its first token is the whole answer.
+  // A plain service answers in one piece, so its time to first token is that of the whole answer.
   if (record.firstAt === 'none') state.measures.record(className, 'first-token', at - atMs);
   state.measures.record(className, 'whole-answer', at - atMs);
 };
@@ -133,7 +133,7 @@
   if (record?.outcome.kind !== 'open') return toStep(state);
   recordLatencies(record, event.outcome, event.at, state, context);
   const violations = listViolations(record, event.outcome, context);
-  // Prompts and answers are checked; the record keeps only how the request ended.
+  // The answer has been checked above, so the record drops it and keeps only the outcome.
   const outcome: Outcome =
     event.outcome.kind === 'finished' ? { kind: 'finished', answer: null } : event.outcome;
   state.table.set(event.number, { ...record, outcome, lastAt: event.at });
@@ -176,12 +176,12 @@
 };
 
 /**
- * Decides one event of the requests.
+ * Handles one event of the requests.
  *
- * @param state - requests so far
- * @param event - part of an answer, end of a request or end of the run
- * @param context - classes and measured time
- * @returns the next state, with `done` after the last request
+ * @param state - requests of the run so far
+ * @param event - start, answer part, retry or end of a request, or end of arrivals or drain time
+ * @param context - classes and start of the measured time
+ * @returns the next state, with the effect `done` once arrivals are over and no request is open
  */
 export const decideRequests = (
   state: RequestsState,
@@ -216,9 +216,9 @@
 /**
  * Creates the child that checks and measures requests.
  *
- * @param scenario - classes and measured time
+ * @param scenario - classes and start of the measured time
  * @param run - id of the run
- * @returns the decisions of the child
+ * @returns the logic of the child
  */
 export const createRequestsChild = (
   scenario: Scenario,
--- a/packages/load/requests/types.ts
+++ b/packages/load/requests/types.ts
@@ -4,7 +4,7 @@
 import type { RetryKind, Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** A promise of the system that an answer broke. */
+/** A violated promise of the system. */
 export interface Violation {
   readonly kind:
     | 'duplicate-token'
@@ -13,20 +13,20 @@
     | 'unknown-token'
     | 'short-answer'
     | 'long-answer'
-    /** The answer belongs to another request. */
+    /** The answer of a plain service does not match the request. */
     | 'wrong-answer'
-    /** A non-repeatable call ran more than once. */
+    /** A non-repeatable call was executed more than once. */
     | 'ran-twice'
-    /** The verdict was `not-run`, but the call ran. */
+    /** The verdict was `not-run`, but the request was executed. */
     | 'not-run-but-ran'
-    /** The verdict was `ran`, but the call did not run. */
+    /** The call finished or its verdict was `ran`, but it was not executed. */
     | 'ran-but-not-run';
   readonly requestId: string;
   readonly className: string;
   readonly detail: string;
 }
 
-/** One request from its sending to its end. */
+/** Progress and outcome of one request. */
 export interface RequestRecord {
   readonly arrival: Arrival;
   readonly check: AnswerCheck;
@@ -36,10 +36,10 @@
   readonly outcome: Outcome | { readonly kind: 'open' };
 }
 
-/** Whether more arrivals will come. */
+/** Phase of the run: sending arrivals, waiting for the last answers, or finished. */
 export type ArrivalPhase = 'arriving' | 'draining' | 'over';
 
-/** Requests of the run; the table and the measures are updated in place by this child alone. */
+/** Requests of the run. The requests child alone updates the table and the measures, in place. */
 export interface RequestsState {
   readonly phase: ArrivalPhase;
   readonly open: number;
--- a/packages/load/results/buildResult.ts
+++ b/packages/load/results/buildResult.ts
@@ -5,7 +5,7 @@
 import type { LoadClass, LoadPolicy, Scenario } from '../scenario/types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Everything that a run has collected. */
+/** Data that a run has collected. */
 export interface RunRecords {
   readonly scenario: Scenario;
   readonly run: string;
@@ -14,7 +14,7 @@
   readonly durationMs: Millis;
   readonly requests: RequestsState;
   readonly samples: SamplesState;
-  /** Broken promises that the stand-ins' own counts show. */
+  /** Violations found in the execution counts of the stand-ins. */
   readonly violations: readonly Violation[];
 }
 
@@ -61,8 +61,8 @@
 /**
  * Builds the result of a run.
  *
- * @param records - requests, samples and broken promises
- * @returns the result, ready for JSON
+ * @param records - requests, samples and violations
+ * @returns the result, which can be serialised as JSON
  */
 export const buildResult = (records: RunRecords): RunResult => {
   const { scenario, requests, samples } = records;
--- a/packages/load/results/series.ts
+++ b/packages/load/results/series.ts
@@ -5,10 +5,10 @@
 import { assertNever } from '../../core/assertNever.js';
 
 /**
- * Finds the label of an outcome.
+ * Converts an outcome to its label in the series.
  *
  * @param outcome - how a request ended
- * @returns the label; an open request counts as unfinished
+ * @returns the label; an open request counts as `unfinished`
  */
 export const toOutcomeLabel = (outcome: RequestRecord['outcome']): OutcomeLabel => {
   switch (outcome.kind) {
@@ -26,10 +26,10 @@
 };
 
 /**
- * Counts requests by time of arrival, class and outcome.
+ * Counts requests by arrival time, class and outcome.
  *
  * @param records - requests of the run
- * @returns the points in order of time
+ * @returns the points, sorted by time
  */
 export const countOutcomes = (records: Iterable<RequestRecord>): readonly OutcomePoint[] => {
   const points = new Map<string, OutcomePoint>();
@@ -42,7 +42,7 @@
   return [...points.values()].sort((left, right) => left.atMs - right.atMs);
 };
 
-/** A counter that fell belongs to an engine whose process started again from 0. */
+/** Computes how much a counter grew; one that fell restarted from 0 with the engine's process. */
 const computeIncrease = (now: number, before: number): number => (now < before ? now : now - before);
 
 const addStarts = (
@@ -65,8 +65,8 @@
 /**
  * Computes the share of each version in the generations that started between two samples.
  *
- * @param samples - counters of the engines in order of time
- * @returns the points in order of time
+ * @param samples - counters of the engines, sorted by time
+ * @returns the points, sorted by time
  */
 export const computeVersionShares = (samples: readonly Sample[]): readonly VersionPoint[] => {
   const newest = new Map<string, EngineCounters>();
@@ -81,9 +81,9 @@
 };
 
 /**
- * Sums the engines of each sample.
+ * Aggregates the counters of all engines in each sample.
  *
- * @param samples - counters of the engines in order of time
+ * @param samples - counters of the engines, sorted by time
  * @returns one point for each sample
  */
 export const sumEngines = (samples: readonly Sample[]): readonly EnginesPoint[] =>
@@ -102,8 +102,8 @@
 /**
  * Finds the newest counters of each engine.
  *
- * @param samples - counters of the engines in order of time
- * @returns one record for each engine that ever answered
+ * @param samples - counters of the engines, sorted by time
+ * @returns one record for each engine that answered at least once
  */
 export const findNewestCounters = (samples: readonly Sample[]): readonly EngineCounters[] => {
   const newest = new Map(
--- a/packages/load/results/types.ts
+++ b/packages/load/results/types.ts
@@ -5,7 +5,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, VersionName } from '../../core/ids.js';
 
-/** How requests ended, as the series count them. */
+/** Outcome of a request as counted in the series; failures are counted by verdict. */
 export type OutcomeLabel =
   | 'finished'
   | 'not-run'
@@ -14,7 +14,7 @@
   | 'no-answer'
   | 'unfinished';
 
-/** What callers of one class saw. */
+/** Results of one class as seen by its callers; requests before the settling time are left out. */
 export interface ClassResult extends ClassTotals {
   readonly className: ClassName;
   readonly kind: LoadClass['kind'];
@@ -24,19 +24,19 @@
   readonly failures: Readonly<Record<string, number>>;
   readonly noAnswer: number;
   readonly unfinished: number;
-  /** Calls that went on with a resume ticket. */
+  /** Retries with a resume ticket. */
   readonly resumed: number;
-  /** Calls that were made again because no token was shown. */
+  /** Retries that sent the whole request again, because no token had been received. */
   readonly sentAgain: number;
-  /** From the intended arrival; for plain services the whole answer. */
+  /** Time from the intended arrival; for plain services until the whole answer. */
   readonly firstToken: Percentiles;
   readonly tokenGap: Percentiles;
   readonly wholeAnswer: Percentiles;
-  /** Lateness of the load generator itself. */
+  /** Delay from the intended arrival until the load generator sent the request. */
   readonly sendDelay: Percentiles;
 }
 
-/** Requests that arrived within one step of the series. */
+/** Requests of one class and outcome that arrived within one step of the series. */
 export interface OutcomePoint {
   readonly atMs: Millis;
   readonly className: ClassName;
@@ -44,24 +44,24 @@
   readonly count: number;
 }
 
-/** Generations that started within one sample. */
+/** Share of a version in the generations that started since the previous sample. */
 export interface VersionPoint {
   readonly atMs: Millis;
   readonly version: VersionName;
   readonly share: number;
 }
 
-/** Engines at one sample. */
+/** Counters of all engines in one sample. */
 export interface EnginesPoint {
   readonly atMs: Millis;
   readonly running: number;
   readonly waiting: number;
-  /** Mean over the engines. */
+  /** Mean over the engines of the sample. */
   readonly memoryShare: number;
   readonly preemptions: number;
 }
 
-/** Result of one run under one policy. */
+/** Result of a run under one policy. */
 export interface RunResult {
   readonly scenario: string;
   readonly run: string;
@@ -70,11 +70,11 @@
   readonly startedAt: string;
   readonly durationMs: Millis;
   readonly classes: readonly ClassResult[];
-  /** Newest counters of each engine. */
+  /** Most recent counters of each engine. */
   readonly engines: readonly EngineCounters[];
   readonly preemptions: number;
   readonly overloadedWhileCold: number;
-  /** Mean over engines and samples after the settling time. */
+  /** Mean over engines and samples, from the settling time to the end of the arrivals. */
   readonly meanMemoryShare: number;
   readonly violations: readonly Violation[];
   readonly actions: readonly PerformedAction[];
--- a/packages/load/runLoad.ts
+++ b/packages/load/runLoad.ts
@@ -13,7 +13,7 @@
 import { listLoadChildren } from './supervisor.js';
 import type { LoadViews } from './supervisor.js';
 import type { Timetable } from './timetable/timetableChild.js';
-import type { Cluster, LoadEffect, LoadEvent } from './types.js';
+import type { TargetCluster, LoadEffect, LoadEvent } from './types.js';
 import { createRoutedDaemon } from '../standins/common/routedDaemon.js';
 import { createView } from '../standins/common/view.js';
 import { assertNever } from '../core/assertNever.js';
@@ -23,17 +23,17 @@
 import type { Loop } from '../core/loop/types.js';
 
 export interface LoadOptions {
-  /** Policy under which the cluster runs, for the result. */
+  /** Placement policy of the cluster, recorded in the result. */
   readonly policy: LoadPolicy;
 }
 
-/** A cluster that was started for one run. */
-export interface RunningCluster extends Cluster {
+/** A cluster that was started for one run and is closed after it. */
+export interface RunningCluster extends TargetCluster {
   readonly close: () => Promise<void>;
 }
 
 interface RunAdapters extends CallerOptions {
-  readonly cluster: Cluster;
+  readonly cluster: TargetCluster;
   readonly onDone: () => void;
 }
 
@@ -50,7 +50,7 @@
     () => '',
     (reason: unknown) => (reason instanceof Error ? reason.message : String(reason)),
   );
-  post({ to: 'samples', kind: 'acted', at: now(), scheduled, error });
+  post({ to: 'samples', kind: 'action-performed', at: now(), scheduled, error });
 };
 
 const takeSample = async ({ cluster, dispatcher, now, post }: RunAdapters): Promise<void> => {
@@ -80,10 +80,10 @@
   }
 };
 
-/** Sends all arrivals and waits for the last answer or the end of the drain time. */
+/** Sends all arrivals and waits for the last response or the end of the drain time. */
 const performRun = async (
   scenario: Scenario,
-  cluster: Cluster,
+  cluster: TargetCluster,
   run: string,
   dispatcher: Dispatcher,
 ): Promise<{
@@ -107,7 +107,7 @@
       },
     });
     const { signal } = abortController;
-    // Every request in progress listens to this one signal.
+    // Every request in progress listens to this signal, more than the default limit allows.
     setMaxListeners(0, signal);
     const adapters: RunAdapters = {
       run,
@@ -131,14 +131,14 @@
 /**
  * Runs a scenario once against a running cluster.
  *
- * @param scenario - checked scenario
+ * @param scenario - validated scenario
  * @param cluster - addresses and control of the system under load
  * @param options - policy of the cluster
- * @returns what callers and stand-ins saw
+ * @returns the result, as seen by callers and counted by stand-ins
  */
 export const runLoad = async (
   scenario: Scenario,
-  cluster: Cluster,
+  cluster: TargetCluster,
   options: LoadOptions,
 ): Promise<RunResult> => {
   const run = createId();
@@ -168,8 +168,8 @@
 /**
  * Runs a scenario under each of its policies in turn, each on a fresh cluster.
  *
- * @param scenario - checked scenario
- * @param startCluster - starts the system under a policy
+ * @param scenario - validated scenario
+ * @param startCluster - starts a cluster with the given policy
  * @returns one result for each policy
  */
 export const runPolicies = async (
--- a/packages/load/samples/fetchPages.ts
+++ b/packages/load/samples/fetchPages.ts
@@ -31,9 +31,9 @@
 /**
  * Fetches the counters of all engine stand-ins.
  *
- * @param engineUrls - addresses by id
- * @param dispatcher - connections
- * @returns the counters of those that answered
+ * @param engineUrls - addresses by engine id
+ * @param dispatcher - HTTP connections
+ * @returns the counters of the engines that answered
  */
 export const fetchCounters = async (
   engineUrls: Readonly<Record<string, string>>,
@@ -48,11 +48,11 @@
 };
 
 /**
- * Fetches how often each request id ran, over all engine stand-ins.
+ * Fetches the number of generations with each request id, over all engine stand-ins.
  *
- * @param engineUrls - addresses by id
- * @param dispatcher - connections
- * @returns executions by request id
+ * @param engineUrls - addresses by engine id
+ * @param dispatcher - HTTP connections
+ * @returns the counts by request id
  */
 export const fetchGenerationCounts = async (
   engineUrls: Readonly<Record<string, string>>,
@@ -69,12 +69,12 @@
 };
 
 /**
- * Fetches how often a key ran, over all service stand-ins.
+ * Fetches the number of executions with an idempotency key, over all service stand-ins.
  *
- * @param inspectionUrls - inspection pages
+ * @param inspectionUrls - base URLs of the inspection pages
  * @param key - idempotency key
- * @param dispatcher - connections
- * @returns executions
+ * @param dispatcher - HTTP connections
+ * @returns the number of executions
  */
 export const fetchExecutionCount = async (
   inspectionUrls: readonly string[],
--- a/packages/load/samples/samplesChild.ts
+++ b/packages/load/samples/samplesChild.ts
@@ -6,7 +6,7 @@
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 
-/** Counters of the engines over the run, and the actions between them. */
+/** Samples of the engines' counters and the actions performed during the run. */
 export interface SamplesState {
   readonly samples: readonly Sample[];
   readonly actions: readonly PerformedAction[];
@@ -19,11 +19,11 @@
 };
 
 /**
- * Decides one event of the samples.
+ * Handles one event of the samples.
  *
- * @param state - samples so far
- * @param event - timer, counters or action
- * @returns the next state and the next sample to take
+ * @param state - samples and actions so far
+ * @param event - due sample, fetched counters or performed action
+ * @returns the next state and, for a due sample, the effects that take it and schedule the next
  */
 export const decideSamples = (
   state: SamplesState,
@@ -36,7 +36,7 @@
       const { at, counters } = event;
       return toStep({ ...state, samples: [...state.samples, { at, counters }] });
     }
-    case 'acted': {
+    case 'action-performed': {
       const { at, scheduled, error } = event;
       const plannedMs = scheduled.atMs;
       const performed = { plannedMs, at, action: JSON.stringify(scheduled.action), error };
@@ -48,9 +48,9 @@
 };
 
 /**
- * Creates the child that collects the engines' counters.
+ * Creates the child that collects the engines' counters and the performed actions.
  *
- * @returns the decisions of the child
+ * @returns the logic of the child
  */
 export const createSamplesChild = (): ChildLogic<SamplesState, SamplesEvent, LoadEffect> => ({
   init: () =>
--- a/packages/load/samples/types.ts
+++ b/packages/load/samples/types.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Counters of one engine stand-in. */
+/** Counters of an engine stand-in. */
 export interface EngineCounters {
   readonly engine: string;
   readonly startId: string;
@@ -16,18 +16,18 @@
   readonly maxRunning: number;
 }
 
-/** Counters of all engines that answered at one time. */
+/** Counters of the engines that answered one round of sampling. */
 export interface Sample {
   readonly at: Millis;
   readonly counters: readonly EngineCounters[];
 }
 
-/** Scheduled action that was carried out. */
+/** A scheduled action that was performed or failed. */
 export interface PerformedAction {
   readonly plannedMs: Millis;
-  /** When it was done; actions run side by side, as one may have to wait for the next. */
+  /** Time of completion. Actions run concurrently, because one may have to wait for a later one. */
   readonly at: Millis;
   readonly action: string;
-  /** Why it could not be carried out; empty when it was. */
+  /** Error message of a failed action; empty after success. */
   readonly error: string;
 }
--- a/packages/load/samples/verifyExecutions.ts
+++ b/packages/load/samples/verifyExecutions.ts
@@ -4,7 +4,7 @@
 import { INSPECTION_CONCURRENCY } from '../constants.js';
 import { checkExecutions, checkRefusedGeneration } from '../requests/executionCheck.js';
 import type { RequestRecord, Violation } from '../requests/types.js';
-import type { Cluster } from '../types.js';
+import type { TargetCluster } from '../types.js';
 
 type Decision = ReturnType<typeof checkExecutions>;
 
@@ -14,13 +14,13 @@
   count: number,
   decision: Decision,
 ): readonly Violation[] => {
-  if (decision === 'kept') return [];
+  if (decision === 'none') return [];
   const { className } = record.arrival;
   const detail = `${count.toString()} executions after ${JSON.stringify(record.outcome)}`;
   return [{ kind: decision, requestId, className, detail }];
 };
 
-/** Works through items a few at a time, so that inspection does not load the stand-ins. */
+/** Processes items in batches, so that the inspection does not overload the stand-ins. */
 const collectInBatches = async <Item, Result>(
   items: readonly Item[],
   checkItem: (item: Item) => Promise<readonly Result[]>,
@@ -34,18 +34,18 @@
 };
 
 /**
- * Compares what callers were told with what the stand-ins ran.
+ * Compares the outcomes that callers received with the executions that the stand-ins counted.
  *
  * @param run - id of the run
  * @param records - requests and their outcomes
  * @param cluster - addresses of the stand-ins
- * @param dispatcher - connections
- * @returns the broken promises
+ * @param dispatcher - HTTP connections
+ * @returns the violations
  */
 export const verifyExecutions = async (
   run: string,
   records: readonly RequestRecord[],
-  cluster: Pick<Cluster, 'engineUrls' | 'ledgerUrls'>,
+  cluster: Pick<TargetCluster, 'engineUrls' | 'ledgerUrls'>,
   dispatcher: Dispatcher,
 ): Promise<readonly Violation[]> => {
   const inspectionUrls = Object.values(cluster.ledgerUrls).map((urls) => urls.inspectionUrl);
--- a/packages/load/scenario/loadScenario.ts
+++ b/packages/load/scenario/loadScenario.ts
@@ -9,10 +9,10 @@
 import type { SettingsProblem } from '../../settings/types.js';
 
 /**
- * Checks the text of a scenario file and fills in its defaults.
+ * Parses and validates the content of a scenario file and fills in the defaults.
  *
  * @param text - JSON with comments
- * @returns the scenario, or every problem with its place
+ * @returns the scenario, or every problem with its location
  */
 export const parseScenario = (text: string): Result<Scenario, readonly SettingsProblem[]> => {
   const errors: ParseError[] = [];
@@ -24,10 +24,10 @@
 };
 
 /**
- * Reads and checks a scenario file.
+ * Reads and validates a scenario file.
  *
- * @param path - file of JSON with comments
- * @returns the scenario, or every problem with its place
+ * @param path - path of the file, which holds JSON with comments
+ * @returns the scenario, or every problem with its location
  * @throws Error when the file cannot be read
  */
 export const loadScenario = (path: string): Result<Scenario, readonly SettingsProblem[]> =>
--- a/packages/load/scenario/schema.ts
+++ b/packages/load/scenario/schema.ts
@@ -16,7 +16,7 @@
   z.strictObject({
     kind: z.literal('log-normal'),
     median: COUNT,
-    /** Standard deviation of the logarithm; 1 makes the longest of 100 ten times the median. */
+    /** Standard deviation of the logarithm; with 1, the longest of 100 is ten times the median. */
     sigma: z.number().min(0),
     min: COUNT.default(1),
     max: COUNT,
@@ -24,7 +24,7 @@
   z.strictObject({
     kind: z.literal('pareto'),
     min: COUNT,
-    /** Smaller values have longer tails. */
+    /** Tail index; smaller values give a heavier tail. */
     shape: z.number().positive(),
     max: COUNT,
   }),
@@ -49,7 +49,7 @@
 
 const DEPLOYMENT_SCHEMA = z.strictObject({
   dataCentres: z.array(DATA_CENTRE_SCHEMA).min(1),
-  /** Entry daemons, spread over the data centres in turn. */
+  /** Number of entry daemons, assigned to the data centres in turn. */
   entries: COUNT,
   engines: z.array(ENGINE_SCHEMA).min(1),
   services: z.array(SERVICE_SCHEMA).default([]),
@@ -57,13 +57,13 @@
   admission: z.strictObject({ evidenceTokens: COUNT }).optional(),
 });
 
-/** What operators publish for a class. */
+/** Targets that operators publish for a class. */
 const TARGETS_SCHEMA = z.strictObject({
   importance: z.enum(['critical', 'standard', 'background']),
   answerLength: z.enum(['short', 'long']),
   firstTokenMs: MILLIS,
   tokenGapMs: MILLIS,
-  /** Gap between tokens from which on a stream counts as stalled. */
+  /** Gap between tokens above which a stream counts as stalled. */
   stallMs: MILLIS,
   deadlineMs: MILLIS,
   delivery: z.enum(['stream', 'whole']).default('stream'),
@@ -84,7 +84,7 @@
     route: NAME.optional(),
     prompt: LENGTH_DISTRIBUTION_SCHEMA,
     output: LENGTH_DISTRIBUTION_SCHEMA,
-    /** Different prompt prefixes that the requests of the class share. */
+    /** Number of distinct prompt prefixes that the requests of the class share. */
     prefixes: COUNT.default(8),
   }),
   /** Idempotent call `GET /services/{service}/balances/{account}`. */
@@ -94,7 +94,7 @@
     service: NAME,
     accounts: COUNT.default(1_000),
   }),
-  /** Call with an effect, `POST /services/{service}/{route}`; it must run at most once. */
+  /** Non-repeatable call `POST /services/{service}/{route}`, which must run at most once. */
   z.strictObject({
     kind: z.literal('execution'),
     ...CLASS_BASE,
@@ -105,7 +105,7 @@
 
 const CUSTOMER_SCHEMA = z.strictObject({
   id: NAME,
-  /** Weight in a crowded queue, as operators publish it. */
+  /** Weight in the fair queue under contention, as published by operators. */
   weight: z.number().positive().default(1),
   /** Share of the arrivals, relative to the other customers. */
   share: z.number().positive(),
@@ -114,11 +114,11 @@
 const PHASE_SCHEMA = z.strictObject({
   name: NAME,
   untilMs: MILLIS,
-  /** Factors on the arrival rates of classes; 1 for classes that are not named. */
+  /** Factors on the arrival rates by class; 1 for classes that are not listed. */
   rates: z.record(NAME, RATE).default({}),
 });
 
-/** What happens to a process of the system, carried out by the cluster. */
+/** Fault of a process of the system, injected by the cluster. */
 const PROCESS_FAULT_SCHEMA = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('kill') }),
   z.strictObject({ kind: z.literal('stop') }),
@@ -126,7 +126,7 @@
   z.strictObject({ kind: z.literal('pause'), forMs: MILLIS }),
 ]);
 
-/** What an operator does. */
+/** Action of an operator. */
 const OPERATOR_ACTION_SCHEMA = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('take-out'), dataCentre: NAME }),
   z.strictObject({ kind: z.literal('restore'), dataCentre: NAME }),
@@ -170,7 +170,7 @@
     durationMs: MILLIS,
     /** Requests that arrive before this time are checked but not measured. */
     settleMs: MILLIS.default(0),
-    /** Time for which the run waits for answers after the last arrival. */
+    /** Maximum time that the run waits for responses after the end of the arrivals. */
     drainMs: MILLIS.default(30_000),
     policies: z.array(POLICY_SCHEMA).min(1),
     deployment: DEPLOYMENT_SCHEMA,
@@ -185,7 +185,11 @@
       scenario.deployment[list].forEach(({ dataCentre }, index) => {
         if (dataCentres.has(dataCentre)) return;
         const path = ['deployment', list, index, 'dataCentre'];
-        context.addIssue({ code: 'custom', path, message: 'expected a data centre of the list' });
+        context.addIssue({
+          code: 'custom',
+          path,
+          message: 'expected a data centre of the deployment',
+        });
       });
     };
     checkDataCentres('engines');
--- a/packages/load/scenario/types.ts
+++ b/packages/load/scenario/types.ts
@@ -1,7 +1,7 @@
 import type { z } from 'zod';
 import type { SCENARIO_SCHEMA } from './schema.js';
 
-/** A scenario with all defaults filled in. */
+/** A validated scenario with all defaults filled in. */
 export type Scenario = z.output<typeof SCENARIO_SCHEMA>;
 
 export type Deployment = Scenario['deployment'];
@@ -10,7 +10,7 @@
 
 export type ServiceDeployment = Deployment['services'][number];
 
-/** One class of work with its arrival rate. */
+/** A request class with its arrival rate. */
 export type LoadClass = Scenario['classes'][number];
 
 export type GenerationClass = Extract<LoadClass, { kind: 'generation' }>;
@@ -22,15 +22,15 @@
 /** Distribution of a length in tokens. */
 export type LengthDistribution = GenerationClass['prompt'];
 
-/** Something that happens at a fixed time of the run. */
+/** An action and the time of the run at which it is due. */
 export type ScheduleEntry = Scenario['schedule'][number];
 
 export type ScheduledAction = ScheduleEntry['action'];
 
-/** Fault of a process, which the cluster carries out. */
+/** Fault of a process, injected by the cluster. */
 export type ProcessFault = Extract<ScheduledAction, { kind: 'process' }>['fault'];
 
-/** Action of an operator, which the cluster carries out. */
+/** Action of an operator, performed by the cluster. */
 export type OperatorAction = Extract<ScheduledAction, { kind: 'operator' }>['action'];
 
 export type LoadPolicy = Scenario['policies'][number];
--- a/packages/load/supervisor.ts
+++ b/packages/load/supervisor.ts
@@ -11,21 +11,21 @@
 import { buildRoutedChild } from '../core/supervision/routedChild.js';
 import type { ChildSpec } from '../core/supervision/types.js';
 
-/** States from which the result is built. */
+/** Views of the child states from which the result is built. */
 export interface LoadViews {
   readonly requests: View<RequestsState>;
   readonly samples: View<SamplesState>;
 }
 
 /**
- * Lists the children of the load generator: requests, samples and the timetable, which starts last
- * because it sends at once.
+ * Lists the children of the load generator: requests, samples and the timetable. The timetable
+ * starts last, because its start may already send requests.
  *
- * @param scenario - classes and measured time
+ * @param scenario - classes and start of the measured time
  * @param run - id of the run
  * @param timetable - arrivals and scheduled actions
  * @param now - time since the start of the run
- * @param views - receivers of the published states
+ * @param views - views to which the children publish their states
  * @returns the children in start order
  */
 export const listLoadChildren = (
--- a/packages/load/timetable/timetableChild.ts
+++ b/packages/load/timetable/timetableChild.ts
@@ -6,16 +6,17 @@
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 
-/** Everything that happens at fixed times of the run. */
+/** Arrivals and actions of the run with their times. */
 export interface Timetable {
-  /** In order of time. */
+  /** Sorted by time. */
   readonly arrivals: readonly Arrival[];
+  /** Sorted by time. */
   readonly schedule: readonly ScheduleEntry[];
   readonly durationMs: Millis;
   readonly drainMs: Millis;
 }
 
-/** Position in the timetable. */
+/** Indices of the next arrival and the next action in the timetable. */
 export interface TimetableState {
   readonly nextArrival: number;
   readonly nextScheduled: number;
@@ -37,12 +38,12 @@
 ];
 
 /**
- * Decides what is due.
+ * Sends the due arrivals and performs the due actions.
  *
  * @param state - position in the timetable
  * @param timetable - arrivals and scheduled actions
  * @param now - time since the start of the run
- * @returns the next position, what to send and do, and the next tick or the end
+ * @returns the next position and the due effects, with the next tick or the end of the arrivals
  */
 export const decideTimetable = (
   state: TimetableState,
@@ -75,11 +76,11 @@
 };
 
 /**
- * Creates the child that sends arrivals at their intended times.
+ * Creates the child that sends arrivals and performs actions at their intended times.
  *
  * @param timetable - arrivals and scheduled actions
  * @param now - time since the start of the run
- * @returns the decisions of the child
+ * @returns the logic of the child
  */
 export const createTimetableChild = (
   timetable: Timetable,
--- a/packages/load/types.ts
+++ b/packages/load/types.ts
@@ -5,25 +5,25 @@
 import type { CustomerId } from '../core/ids.js';
 import type { Verdict } from '../core/verdict.js';
 
-/** Addresses of a service stand-in. */
-export interface LedgerUrls {
+/** Addresses of a service stand-in: its calls and its inspection pages. */
+export interface ServiceUrls {
   readonly url: string;
   readonly inspectionUrl: string;
 }
 
-/** A running system under load, with what the load generator may do to it. */
-export interface Cluster {
-  /** Callers' interfaces of the entry daemons, in the order of a balancer. */
+/** A running system under load, with the controls that the load generator uses. */
+export interface TargetCluster {
+  /** Caller interfaces of the entry daemons, in the order in which a load balancer uses them. */
   readonly entryUrls: readonly string[];
   readonly customerKeys: Readonly<Record<CustomerId, string>>;
-  /** Engine stand-ins by id of the scenario. */
+  /** Engine stand-ins by their id in the scenario. */
   readonly engineUrls: Readonly<Record<string, string>>;
-  /** Service stand-ins by id of the scenario. */
-  readonly ledgerUrls: Readonly<Record<string, LedgerUrls>>;
+  /** Service stand-ins by their id in the scenario. */
+  readonly ledgerUrls: Readonly<Record<string, ServiceUrls>>;
   readonly platformUrl: string;
-  /** Carries out a fault of a process of the system. */
+  /** Injects a fault into a process of the system. */
   readonly applyFault: (process: string, fault: ProcessFault) => Promise<void>;
-  /** Carries out an operator's action through the operator interface. */
+  /** Performs an operator's action through the operator interface. */
   readonly operate: (action: OperatorAction) => Promise<void>;
 }
 
@@ -36,11 +36,12 @@
       readonly code: string;
       readonly status: number;
     }
-  /** No entry daemon gave an answer with a verdict. */
+  /** No entry daemon returned a response with a verdict. */
   | { readonly kind: 'no-answer'; readonly reason: string }
+  /** The request was still in progress at the end of the drain time. */
   | { readonly kind: 'unfinished' };
 
-/** Why a caller called again. */
+/** How a caller retried a broken call: with a resume ticket, or by sending the request again. */
 export type RetryKind = 'resumed' | 'sent-again';
 
 export type RequestsEvent =
@@ -69,7 +70,7 @@
   | { readonly kind: 'sample-due' }
   | { readonly kind: 'sampled'; readonly at: Millis; readonly counters: readonly EngineCounters[] }
   | {
-      readonly kind: 'acted';
+      readonly kind: 'action-performed';
       readonly at: Millis;
       readonly scheduled: ScheduleEntry;
       readonly error: string;
--- a/packages/load/writeReport.ts
+++ b/packages/load/writeReport.ts
@@ -5,11 +5,11 @@
 import type { RunResult } from './results/types.js';
 
 /**
- * Writes `results.json` and one SVG file for each plot.
+ * Writes `results.json` and an SVG file for each plot.
  *
- * @param directory - folder, created when it is missing
+ * @param directory - target directory, created if it does not exist
  * @param results - one result for each policy
- * @returns the paths of the files
+ * @returns the paths of the written files
  */
 export const writeReport = async (
   directory: string,
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -51,8 +51,8 @@
 /**
  * Builds an edge from the sending of each message to its receipt.
  *
- * For an id that one process sent several times, the edge starts at the first sending. An id sent by
- * several processes is ambiguous and gets no edge.
+ * For an id that one process sent several times, the edge starts at the first sending. An id sent
+ * by several processes is ambiguous and gets no edge.
  *
  * @param table - events of all processes
  * @returns one edge for each receipt in another process
@@ -144,8 +144,8 @@
 
 /**
  * Builds the partial order of the events: the sequence of each process, the sending of a message
- * before its receipt, an append before the reads of its record, and lower offsets of a stream before
- * higher ones.
+ * before its receipt, an append before the reads of its record, and lower offsets of a stream
+ * before higher ones.
  *
  * @param table - events of all processes
  * @returns nodes and edges; append and offset edges can contradict the others and each other
--- a/packages/timeline/explain.test.ts
+++ b/packages/timeline/explain.test.ts
@@ -20,7 +20,7 @@
 
 const REQUEST_LINES: readonly Line[] = [
   ['request-received', { requestId: 'r1' }],
-  ['request-queued', { requestId: 'r1', data: { reason: 'no endpoint has room' } }],
+  ['request-queued', { requestId: 'r1', data: { reason: 'no endpoint has free capacity' } }],
   ['request-received', { requestId: 'other' }],
   [
     'request-placed',
--- a/packages/timeline/htmlParts.ts
+++ b/packages/timeline/htmlParts.ts
@@ -21,8 +21,8 @@
 `;
 
 /**
- * Script of the page. The filter box hides the events that do not match, closes the gaps and redraws
- * the arrows between the rest; a click or Enter shows the details of an event.
+ * Script of the page. The filter box hides the events that do not match, closes the gaps and
+ * redraws the arrows between the rest; a click or Enter shows the details of an event.
  */
 export const PAGE_SCRIPT = `
 'use strict';
--- a/packages/timeline/merge.test.ts
+++ b/packages/timeline/merge.test.ts
@@ -12,7 +12,7 @@
   matches: (event: LoggedEvent) => boolean,
 ): number => merged.find(({ event }) => matches(event))?.order ?? -1;
 
-/** A consistent history: steps of processes in real time order, some with a message or an offset. */
+/** A consistent history: steps of processes in real order, some with a message or an offset. */
 const historyArbitrary = fc.record({
   skews: fc.array(fc.integer({ min: -1e6, max: 1e6 }), { minLength: 4, maxLength: 4 }),
   steps: fc.array(
