--- a/packages/load/arrivals/lengths.ts
+++ b/packages/load/arrivals/lengths.ts
@@ -12,27 +12,25 @@
 /**
  * Samples a length in tokens.
  *
- * @param distribution - distribution of the length
+ * @param lengths - distribution of the length
  * @param random - random source
  * @returns the number of tokens
  */
-export const sampleLength = (distribution: LengthDistribution, random: RandomSource): number => {
-  switch (distribution.kind) {
+export const sampleLength = (lengths: LengthDistribution, random: RandomSource): number => {
+  switch (lengths.kind) {
     case 'constant':
-      return distribution.tokens;
+      return lengths.tokens;
     case 'uniform':
-      return (
-        distribution.min + Math.floor(random.next() * (distribution.max - distribution.min + 1))
-      );
+      return lengths.min + Math.floor(random.next() * (lengths.max - lengths.min + 1));
     case 'log-normal': {
-      const { median, sigma, min, max } = distribution;
+      const { median, sigma, min, max } = lengths;
       return toTokenCount(median * Math.exp(sigma * sampleNormal(random)), min, max);
     }
     case 'pareto': {
-      const { min, shape, max } = distribution;
+      const { min, shape, max } = lengths;
       return toTokenCount(min / Math.pow(1 - random.next(), 1 / shape), min, max);
     }
     default:
-      return assertNever(distribution);
+      return assertNever(lengths);
   }
 };
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -132,9 +132,9 @@
   let nodeCount = table.events.length;
   for (const indices of streams.values()) {
     const groups = collectByOffset(indices, (index) => watermarks[index] ?? -1);
-    groups.slice(1).forEach((after, index) => {
-      const before = groups[index] ?? [];
-      const earlierBarrier = index === 0 ? [] : [nodeCount - 1];
+    groups.slice(1).forEach((after, groupIndex) => {
+      const before = groups[groupIndex] ?? [];
+      const earlierBarrier = groupIndex === 0 ? [] : [nodeCount - 1];
       edges.push(...buildBarrier([...before, ...earlierBarrier], nodeCount, after));
       nodeCount += 1;
     });
--- a/packages/timeline/explainMove.ts
+++ b/packages/timeline/explainMove.ts
@@ -19,13 +19,12 @@
 
 /** Finds the terminal event with the lowest log offset; events without an offset sort last. */
 const findTerminal = (events: readonly LoggedEvent[]): LoggedEvent | undefined => {
-  const getOffset = (event: LoggedEvent): number =>
+  const toOffset = (event: LoggedEvent): number =>
     event.position?.offset ?? Number.POSITIVE_INFINITY;
   return events
     .filter(isTerminal)
     .reduce<LoggedEvent | undefined>(
-      (first, event) =>
-        first === undefined || getOffset(event) < getOffset(first) ? event : first,
+      (first, event) => (first === undefined || toOffset(event) < toOffset(first) ? event : first),
       undefined,
     );
 };
