--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -148,8 +148,7 @@
       tokens.toSpliced(index + 1, 0, 'gcd2 '),
     ];
     if (listFaults(tokens, length).length > 0) throw new Error('a correct answer has faults');
-    if (listFaults([tokens.join('')], length).length > 0)
-      throw new Error('the division into chunks changes the result');
+    if (listFaults([tokens.join('')], length).length > 0) throw new Error('chunking adds faults');
     for (const changed of faulty) {
       if (listFaults(changed, length).length === 0) throw new Error(changed.join(''));
     }
--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -74,9 +74,9 @@
 };
 
 /**
- * Creates empty measures.
+ * Creates the histograms and totals of a run.
  *
- * @returns the measures
+ * @returns measures without any recorded values
  */
 export const createMeasures = (): Measures => {
   const histograms = new Map<string, Histogram>();
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -106,9 +106,9 @@
 ];
 
 /**
- * Computes for each event the highest offset that its process had seen in the event's stream. A
- * process that handles several records concurrently logs lower offsets after higher ones; such an
- * event is ordered by the highest offset seen before it.
+ * Computes for each event the highest offset of its stream that its process had logged by then, or -1
+ * for an event without an offset. A process that handles several records concurrently logs lower
+ * offsets after higher ones; such an event is ordered by the highest offset logged before it.
  */
 const computeHighWatermarks = (table: EventTable): readonly number[] => {
   const watermarks = new Map<string, number>();
--- a/packages/timeline/order.ts
+++ b/packages/timeline/order.ts
@@ -55,8 +55,7 @@
 /** Removes the weakest edge of a cycle that blocks a node. */
 const removeWeakestEdge = (state: SortState, blocked: number): void => {
   const [first, ...others] = findCycle(state, blocked);
-  if (first === undefined)
-    throw new Error(`node ${blocked.toString()} is blocked, but no cycle was found`);
+  if (first === undefined) throw new Error(`node ${blocked.toString()} is not blocked by a cycle`);
   const weakest = others.reduce(
     (best, edge) => (EVIDENCE_STRENGTH[edge.kind] < EVIDENCE_STRENGTH[best.kind] ? edge : best),
     first,
