Say what the totals of a class count

'tokens' counts answer parts, so an answer delivered whole adds one; the comment did not say so. Names in two timeline files say what they hold.

--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -18,10 +18,12 @@
 /** Latencies that are measured for each class. */
 export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
 
-/** Totals of one class: stalls, their summed gaps and tokens received. */
+/** Totals of one class. */
 export interface ClassTotals {
   readonly stalls: number;
+  /** Sum of the gaps that counted as stalls. */
   readonly stallMs: Millis;
+  /** Received answer parts: tokens of a stream, one for an answer delivered whole. */
   readonly tokens: number;
 }
 
--- a/packages/timeline/clocks.ts
+++ b/packages/timeline/clocks.ts
@@ -21,8 +21,8 @@
   const bounds = new Map<number, Map<number, ClockBounds>>();
   const narrowBounds = (first: number, second: number, low: Millis, high: Millis): void => {
     const row = bounds.get(first) ?? new Map<number, ClockBounds>();
-    const known = row.get(second) ?? UNBOUNDED;
-    row.set(second, { low: Math.max(known.low, low), high: Math.min(known.high, high) });
+    const previous = row.get(second) ?? UNBOUNDED;
+    row.set(second, { low: Math.max(previous.low, low), high: Math.min(previous.high, high) });
     bounds.set(first, row);
   };
   for (const edge of buildMessageEdges(table)) {
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -106,8 +106,8 @@
 ];
 
 /**
- * Computes for each event the highest offset of its stream that its process had logged by then, or -1
- * for an event without an offset. A process that handles several records concurrently logs lower
+ * Computes for each event the highest offset of its stream that its process had logged by then, or
+ * -1 for an event without an offset. A process that handles several records concurrently logs lower
  * offsets after higher ones; such an event is ordered by the highest offset logged before it.
  */
 const computeHighWatermarks = (table: EventTable): readonly number[] => {
--- a/packages/timeline/render.test.ts
+++ b/packages/timeline/render.test.ts
@@ -5,19 +5,19 @@
 import { renderTimeline } from './renderTimeline.js';
 import { buildEvent, buildLog } from './testEvents.js';
 
-const HOSTILE = `</script><script>alert(1)</script>"'&\u0000`;
+const HOSTILE_TEXT = `</script><script>alert(1)</script>"'&\u0000`;
 
 const buildMerged = (requestId: string) =>
   mergeTimelines([
     buildLog('a', [buildEvent('a', 0, 1, { requestId, sent: 'm1' })]),
     buildLog('b<i>', [
-      buildEvent('b<i>', 0, 5, { received: 'm1', data: { note: HOSTILE } }, 'work-refused'),
+      buildEvent('b<i>', 0, 5, { received: 'm1', data: { note: HOSTILE_TEXT } }, 'work-refused'),
     ]),
   ]);
 
 // Guards against cross-site scripting: a caller's text must not run in an operator's browser.
 test('the page escapes all text and loads no resource', (t) => {
-  const page = renderTimeline(buildMerged(HOSTILE), 'html', HOSTILE);
+  const page = renderTimeline(buildMerged(HOSTILE_TEXT), 'html', HOSTILE_TEXT);
   t.is(page.split('<script>').length, 2);
   t.is(page.split('</script>').length, 2);
   t.false(page.includes('<i>'));
@@ -78,7 +78,7 @@
     createElement({ text, order: order.toString(), x: '24', details: `details of ${text}` }),
   );
   const arrows = [createElement({ from: '0', to: '2' }), createElement({ from: '0', to: '1' })];
-  const named = new Map(
+  const elements = new Map(
     ['timeline', 'details', 'count', 'filter'].map((id) => [
       id,
       createElement({ rowHeight: '22', top: '48' }),
@@ -86,11 +86,11 @@
   );
   runInNewContext(PAGE_SCRIPT, {
     document: {
-      getElementById: (id: string) => named.get(id),
+      getElementById: (id: string) => elements.get(id),
       querySelectorAll: (selector: string) => (selector === '.event' ? events : arrows),
     },
   });
-  const filter = named.get('filter');
+  const filter = elements.get('filter');
   if (filter !== undefined) filter.value = 'ALPHA';
   filter?.listeners.get('input')?.();
   t.deepEqual(
@@ -102,7 +102,7 @@
     arrows.map(({ classes }) => classes.has('hidden')),
     [false, true],
   );
-  t.is(named.get('count')?.textContent, '2 of 3 events');
+  t.is(elements.get('count')?.textContent, '2 of 3 events');
   events[2]?.listeners.get('click')?.();
-  t.is(named.get('details')?.textContent, 'details of alpha gamma');
+  t.is(elements.get('details')?.textContent, 'details of alpha gamma');
 });
