--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici';
 import { buildArrivals } from './arrivals/buildArrivals.js';
 import { sampleLength } from './arrivals/lengths.js';
-import { EMPTY_ANSWER, checkEnd, checkText } from './requests/answerCheck.js';
+import { EMPTY_ANSWER, checkLength, checkText } from './requests/answerCheck.js';
 import { checkExecutions, checkRefusedGeneration } from './requests/executionCheck.js';
 import type { RequestRecord } from './requests/types.js';
 import { computeVersionShares } from './results/series.js';
@@ -16,7 +16,7 @@
 import { runLoad } from './runLoad.js';
 import { loadScenario, parseScenario } from './scenario/loadScenario.js';
 import type { Scenario } from './scenario/types.js';
-import type { Cluster } from './types.js';
+import type { TargetCluster } from './types.js';
 import { writeReport } from './writeReport.js';
 import { startEngineStandin } from '../standins/engine/startEngineStandin.js';
 import { startLedgerStandin } from '../standins/ledger/startLedgerStandin.js';
@@ -31,7 +31,7 @@
   deadlineMs: 10_000,
 };
 
-const SMALL = {
+const SMALL_SCENARIO = {
   name: 'small',
   seed: 5,
   durationMs: 1_000,
@@ -69,11 +69,11 @@
   ],
 };
 
-const parse = (change: object = {}): Scenario =>
-  parseScenario(JSON.stringify({ ...SMALL, ...change })).unwrap();
+const parseSmallScenario = (overrides: object = {}): Scenario =>
+  parseScenario(JSON.stringify({ ...SMALL_SCENARIO, ...overrides })).unwrap();
 
-// Guards against scenario files that the schema no longer accepts.
-test('the scenario files are valid and long-tailed', (t) => {
+// Guards against scenario files that the schema no longer accepts or that generate little load.
+test('the scenario files are valid and generate load', (t) => {
   for (const file of readdirSync('app/scenarios')) {
     const scenario = loadScenario(join('app/scenarios', file)).unwrap();
     t.is(`${scenario.name}.jsonc`, file);
@@ -82,9 +82,9 @@
   }
 });
 
-// Guards against a mistake in a scenario that is reported without its place.
-test('problems of a scenario name their line', (t) => {
-  const text = JSON.stringify({ ...SMALL, seed: 'five' }, undefined, 1);
+// Guards against a problem in a scenario that is reported without its location.
+test('problems of a scenario are reported with path and line', (t) => {
+  const text = JSON.stringify({ ...SMALL_SCENARIO, seed: 'five' }, undefined, 1);
   const problems = parseScenario(text).unwrapErr();
   t.deepEqual(
     problems.map(({ path, line }) => [path, line]),
@@ -92,9 +92,9 @@
   );
 });
 
-// Guards against arrivals that depend on anything but the seed, and against wrong rates.
-test('arrivals are repeatable, in order and follow rates, phases and shares', (t) => {
-  const scenario = parse({
+// Guards against arrivals that depend on anything but scenario and seed, and against wrong rates.
+test('arrivals are reproducible, sorted and follow rates, phases and shares', (t) => {
+  const scenario = parseSmallScenario({
     durationMs: 100_000,
     phases: [{ name: 'quiet', untilMs: 50_000, rates: { lookups: 0.1 } }],
   });
@@ -108,18 +108,18 @@
       (arrival) =>
         arrival.className === className && arrival.atMs >= fromMs && arrival.atMs < fromMs + 50_000,
     ).length;
-  const near = (actual: number, wanted: number): boolean =>
-    Math.abs(actual - wanted) < 5 * Math.sqrt(wanted);
-  t.true(near(count('lookups', 0), 200));
-  t.true(near(count('lookups', 50_000), 2_000));
-  t.true(near(count('memos', 0), 1_500));
+  const isNear = (actual: number, expected: number): boolean =>
+    Math.abs(actual - expected) < 5 * Math.sqrt(expected);
+  t.true(isNear(count('lookups', 0), 200));
+  t.true(isNear(count('lookups', 50_000), 2_000));
+  t.true(isNear(count('memos', 0), 1_500));
   t.true(
-    near(arrivals.filter(({ customer }) => customer === 'large').length, arrivals.length * 0.9),
+    isNear(arrivals.filter(({ customer }) => customer === 'large').length, arrivals.length * 0.9),
   );
 });
 
-// Guards against lengths outside their bounds or without a tail.
-test('sampled lengths keep their bounds and their median', (t) => {
+// Guards against sampled lengths that exceed their bounds or lack the long tail.
+test('sampled lengths respect bounds, median and tail', (t) => {
   const random = createRandomSource(2);
   const lengths = { kind: 'log-normal', median: 100, sigma: 1, min: 5, max: 2_000 } as const;
   const sampled = Array.from({ length: 4_000 }, () => sampleLength(lengths, random)).sort(
@@ -130,15 +130,15 @@
   t.true((sampled[3_960] ?? 0) > 800);
 });
 
-// Guards against a checker that misses a lost, doubled, reordered or foreign token.
-test('every change of a token sequence is found', (t) => {
+// Guards against a check that misses a lost, duplicated or foreign token.
+test('every change of a token sequence is detected', (t) => {
   const render = (generation: string, length: number): string[] =>
     Array.from({ length }, (_, index) =>
       index === 0 ? `g${generation} ` : `w${index.toString()} `,
     );
-  const listFaults = (tokens: readonly string[], wanted: number) =>
-    checkEnd(tokens.reduce(checkText, EMPTY_ANSWER), wanted).faults;
-  const run = (length: number, at: number): void => {
+  const listFaults = (tokens: readonly string[], requested: number) =>
+    checkLength(tokens.reduce(checkText, EMPTY_ANSWER), requested).faults;
+  const checkFaults = (length: number, at: number): void => {
     const tokens = render('ab1', length);
     const index = at % length;
     const faulty = [
@@ -147,35 +147,35 @@
       tokens.toSpliced(index, 0, 'x '),
       tokens.toSpliced(index + 1, 0, 'gcd2 '),
     ];
-    if (listFaults(tokens, length).length > 0) throw new Error('a whole answer has faults');
-    if (listFaults([tokens.join('')], length).length > 0) throw new Error('chunks matter');
+    if (listFaults(tokens, length).length > 0) throw new Error('a correct answer has faults');
+    if (listFaults([tokens.join('')], length).length > 0) throw new Error('chunking adds faults');
     for (const changed of faulty) {
       if (listFaults(changed, length).length === 0) throw new Error(changed.join(''));
     }
   };
-  fc.assert(fc.property(fc.integer({ min: 2, max: 40 }), fc.nat(100), run), {
+  fc.assert(fc.property(fc.integer({ min: 2, max: 40 }), fc.nat(100), checkFaults), {
     seed: 3,
     numRuns: 200,
   });
   t.pass();
 });
 
-// Guards against verdicts that are believed without a look at the executions.
-test('executions are compared with the verdict that the caller got', (t) => {
+// Guards against verdicts that are trusted without a check of the executions.
+test('executions are compared with the verdict that the caller received', (t) => {
   const record = (outcome: RequestRecord['outcome']) =>
     ({ outcome, calledAgain: [] }) as unknown as RequestRecord;
   const failed = (verdict: 'not-run' | 'may-have-run' | 'ran') =>
     record({ kind: 'failed', verdict, code: 'x', status: 500 });
   t.is(checkExecutions(failed('may-have-run'), 2), 'ran-twice');
-  t.is(checkExecutions(failed('may-have-run'), 1), 'kept');
+  t.is(checkExecutions(failed('may-have-run'), 1), 'none');
   t.is(checkExecutions(failed('not-run'), 1), 'not-run-but-ran');
   t.is(checkExecutions(failed('ran'), 0), 'ran-but-not-run');
   t.is(checkExecutions(record({ kind: 'finished', answer: null }), 0), 'ran-but-not-run');
   t.is(checkRefusedGeneration(failed('not-run'), 1), 'not-run-but-ran');
 });
 
-// Guards against version shares that go wrong when an engine's process starts again.
-test('version shares count starts between samples', (t) => {
+// Guards against wrong version shares when an engine's process and its counters restart.
+test('version shares are computed from the starts between samples', (t) => {
   const counters = (engine: string, startedByVersion: Record<string, number>) =>
     ({ engine, startedByVersion }) as unknown as EngineCounters;
   const shares = computeVersionShares([
@@ -189,7 +189,7 @@
   );
 });
 
-/** Starts a stand-in of an entry daemon that passes everything on, with an optional fault. */
+/** Starts a fake entry daemon that forwards all requests to stand-ins, with an optional fault. */
 const startCluster = async (fault: 'none' | 'double-tokens' | 'double-calls') => {
   const engine = await startEngineStandin({ warmUpMs: 0, rampMs: 0, stepBaseMs: 2 });
   const ledger = await startLedgerStandin();
@@ -223,7 +223,7 @@
       await (await forward(`${ledger.url}/sweeps`, incoming, 'POST')).body.dump();
     return answer(reply, await forward(`${ledger.url}/sweeps`, incoming, 'POST'));
   });
-  const cluster: Cluster = {
+  const cluster: TargetCluster = {
     entryUrls: [await entry.listen({ host: '127.0.0.1', port: 0 })],
     customerKeys: { large: 'k1', small: 'k2' },
     engineUrls: { e1: engine.url },
@@ -240,11 +240,11 @@
   return { cluster, close };
 };
 
-// Guards against a generator that loses requests, results that do not add up and broken plots.
-test('a run against stand-ins gives a whole result and its plots', async (t) => {
+// Guards against lost requests, inconsistent results and plots that are not rendered.
+test('a run against stand-ins produces a complete result and its plots', async (t) => {
   const { cluster, close } = await startCluster('none');
   t.teardown(close);
-  const scenario = parse({
+  const scenario = parseSmallScenario({
     schedule: [
       { atMs: 400, action: { kind: 'engine', id: 'e1', fault: { kind: 'slow', factor: 1.5 } } },
       { atMs: 500, action: { kind: 'process', id: 'entry-1', fault: { kind: 'kill' } } },
@@ -272,14 +272,16 @@
   for (const path of paths.slice(1)) t.regex(readFileSync(path, 'utf8'), /^<svg/);
 });
 
-// Guards against a generator that reports a broken promise as a finished request.
-test('doubled tokens and doubled calls are violations', async (t) => {
+// Guards against a violated promise that is reported only as a finished request.
+test('duplicate tokens and duplicate executions are violations', async (t) => {
   for (const [fault, kind] of [
     ['double-tokens', 'duplicate-token'],
     ['double-calls', 'ran-twice'],
   ] as const) {
     const { cluster, close } = await startCluster(fault);
-    const result = await runLoad(parse(), cluster, { policy: { kind: 'round-robin' } });
+    const result = await runLoad(parseSmallScenario(), cluster, {
+      policy: { kind: 'round-robin' },
+    });
     await close();
     t.true(result.violations.length > 0);
     t.true(result.violations.every((violation) => violation.kind === kind));
--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { ClassName } from '../../core/ids.js';
 
-/** Figures of one histogram, in milliseconds. */
+/** Statistics of one histogram, in milliseconds. */
 export interface Percentiles {
   readonly count: number;
   readonly mean: Millis;
@@ -15,26 +15,28 @@
   readonly max: Millis;
 }
 
-/** What is measured of each class. */
+/** Latencies that are measured for each class. */
 export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
 
-/** Sums of one class. */
-export interface StallSums {
+/** Totals of one class. */
+export interface ClassTotals {
   readonly stalls: number;
+  /** Sum of the gaps that counted as stalls. */
   readonly stallMs: Millis;
+  /** Received answer parts: tokens of a stream, one for an answer delivered whole. */
   readonly tokens: number;
 }
 
 /**
- * Histograms and sums by class. A run records millions of gaps, so they are updated in place and
- * owned by the requests child alone.
+ * Histograms and totals by class. They are updated in place, because a run records millions of
+ * gaps, and only the requests child uses them.
  */
 export interface Measures {
   readonly record: (className: ClassName, name: MeasureName, ms: Millis) => void;
   readonly addToken: (className: ClassName) => void;
   readonly addStall: (className: ClassName, ms: Millis) => void;
   readonly getPercentiles: (className: ClassName, name: MeasureName) => Percentiles;
-  readonly getSums: (className: ClassName) => StallSums;
+  readonly getTotals: (className: ClassName) => ClassTotals;
 }
 
 const MICROS_PER_MILLI = 1_000;
@@ -60,56 +62,56 @@
   });
 
 const toPercentiles = (histogram: Histogram): Percentiles => {
-  const read = (percentile: number): Millis =>
+  const getMillis = (percentile: number): Millis =>
     histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
   return {
     count: histogram.totalCount,
     mean: histogram.mean / MICROS_PER_MILLI,
-    p50: read(50),
-    p95: read(95),
-    p99: read(99),
-    p999: read(99.9),
+    p50: getMillis(50),
+    p95: getMillis(95),
+    p99: getMillis(99),
+    p999: getMillis(99.9),
     max: histogram.maxValue / MICROS_PER_MILLI,
   };
 };
 
 /**
- * Creates empty measures.
+ * Creates the histograms and totals of a run.
  *
- * @returns the measures
+ * @returns measures without any recorded values
  */
 export const createMeasures = (): Measures => {
   const histograms = new Map<string, Histogram>();
-  const sums = new Map<ClassName, StallSums>();
+  const totals = new Map<ClassName, ClassTotals>();
 
-  const openHistogram = (key: string): Histogram => {
-    const known = histograms.get(key);
-    if (known !== undefined) return known;
+  const getHistogram = (key: string): Histogram => {
+    const existing = histograms.get(key);
+    if (existing !== undefined) return existing;
     const created = createHistogram();
     histograms.set(key, created);
     return created;
   };
 
-  const getSums = (className: ClassName): StallSums =>
-    sums.get(className) ?? { stalls: 0, stallMs: 0, tokens: 0 };
+  const getTotals = (className: ClassName): ClassTotals =>
+    totals.get(className) ?? { stalls: 0, stallMs: 0, tokens: 0 };
 
   return {
     record: (className, name, ms) => {
       const bounded = Math.min(MAX_MEASURED_MS, Math.max(0, ms));
-      openHistogram(`${className} ${name}`).recordValue(Math.round(bounded * MICROS_PER_MILLI));
+      getHistogram(`${className} ${name}`).recordValue(Math.round(bounded * MICROS_PER_MILLI));
     },
     addToken: (className) => {
-      const { stalls, stallMs, tokens } = getSums(className);
-      sums.set(className, { stalls, stallMs, tokens: tokens + 1 });
+      const { stalls, stallMs, tokens } = getTotals(className);
+      totals.set(className, { stalls, stallMs, tokens: tokens + 1 });
     },
     addStall: (className, ms) => {
-      const { stalls, stallMs, tokens } = getSums(className);
-      sums.set(className, { stalls: stalls + 1, stallMs: stallMs + ms, tokens });
+      const { stalls, stallMs, tokens } = getTotals(className);
+      totals.set(className, { stalls: stalls + 1, stallMs: stallMs + ms, tokens });
     },
     getPercentiles: (className, name) => {
       const histogram = histograms.get(`${className} ${name}`);
       return histogram === undefined ? EMPTY_PERCENTILES : toPercentiles(histogram);
     },
-    getSums,
+    getTotals,
   };
 };
--- a/packages/load/requests/requestsChild.ts
+++ b/packages/load/requests/requestsChild.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
-import { EMPTY_ANSWER, checkEnd, checkText } from './answerCheck.js';
+import { EMPTY_ANSWER, checkLength, checkText } from './answerCheck.js';
 import { createMeasures } from './measures.js';
 import type { RequestRecord, RequestsState, Violation } from './types.js';
-import { renderRequestId } from '../client/identity.js';
+import { formatRequestId } from '../client/identity.js';
 import type { LoadClass, Scenario } from '../scenario/types.js';
 import type { LoadEffect, Outcome, RequestsEvent } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -13,7 +13,7 @@
 
 type RequestsStep = Step<RequestsState, LoadEffect>;
 
-/** What the requests child knows of the scenario. */
+/** Parts of the scenario that the requests child uses. */
 export interface RequestsContext {
   readonly run: string;
   readonly settleMs: Millis;
@@ -64,8 +64,8 @@
   return toStep(state);
 };
 
-/** Finds what an answer of a plain service gets wrong. */
-const findWrongAnswer = (record: RequestRecord, answer: unknown, key: string): string => {
+/** Describes what is wrong with the answer of a plain service; empty when it is correct. */
+const describeWrongAnswer = (record: RequestRecord, answer: unknown, key: string): string => {
   const { work } = record.arrival;
   switch (work.kind) {
     case 'generation':
@@ -73,12 +73,12 @@
     case 'lookup': {
       const balance = BALANCE_SCHEMA.safeParse(answer);
       if (balance.success && balance.data.account === work.account) return '';
-      return `asked for ${work.account}, got ${JSON.stringify(answer)}`;
+      return `requested ${work.account}, received ${JSON.stringify(answer)}`;
     }
     case 'execution': {
       const execution = EXECUTION_SCHEMA.safeParse(answer);
       if (execution.success && execution.data.key === key) return '';
-      return `asked with ${key}, got ${JSON.stringify(answer)}`;
+      return `requested with key ${key}, received ${JSON.stringify(answer)}`;
     }
     default:
       return assertNever(work);
@@ -91,18 +91,23 @@
   context: RequestsContext,
 ): readonly Violation[] => {
   const { work, className, number } = record.arrival;
-  const requestId = renderRequestId(context.run, number);
-  const isWhole = outcome.kind === 'finished' && work.kind === 'generation';
-  const check = isWhole ? checkEnd(record.check, work.outputTokens) : record.check;
-  const counted = `${record.check.nextNumber.toString()} tokens`;
-  const violations = check.faults.map((kind) => ({ kind, requestId, className, detail: counted }));
+  const requestId = formatRequestId(context.run, number);
+  const isFinishedGeneration = outcome.kind === 'finished' && work.kind === 'generation';
+  const check = isFinishedGeneration ? checkLength(record.check, work.outputTokens) : record.check;
+  const lengthDetail = `${record.check.nextNumber.toString()} tokens`;
+  const violations = check.faults.map((kind) => ({
+    kind,
+    requestId,
+    className,
+    detail: lengthDetail,
+  }));
   const detail =
-    outcome.kind === 'finished' ? findWrongAnswer(record, outcome.answer, requestId) : '';
+    outcome.kind === 'finished' ? describeWrongAnswer(record, outcome.answer, requestId) : '';
   if (detail === '') return violations;
   return [...violations, { kind: 'wrong-answer', requestId, className, detail }];
 };
 
-const recordEnd = (
+const recordLatencies = (
   record: RequestRecord,
   outcome: Outcome,
   at: Millis,
@@ -111,24 +116,24 @@
 ): void => {
   if (outcome.kind !== 'finished' || !isMeasured(record, context)) return;
   const { className, atMs } = record.arrival;
-  // A plain service's answer comes at once, so its first token is the whole answer.
+  // A plain service answers in one piece, so its time to first token is that of the whole answer.
   if (record.firstAt === 'none') state.measures.record(className, 'first-token', at - atMs);
   state.measures.record(className, 'whole-answer', at - atMs);
 };
 
-const toDoneEffects = (state: RequestsState): readonly LoadEffect[] =>
+const buildDoneEffects = (state: RequestsState): readonly LoadEffect[] =>
   state.phase === 'draining' && state.open === 0 ? [{ kind: 'done' }] : [];
 
-const settleRequest = (
+const closeRequest = (
   state: RequestsState,
   event: Extract<RequestsEvent, { kind: 'ended' }>,
   context: RequestsContext,
 ): RequestsStep => {
   const record = state.table.get(event.number);
   if (record?.outcome.kind !== 'open') return toStep(state);
-  recordEnd(record, event.outcome, event.at, state, context);
+  recordLatencies(record, event.outcome, event.at, state, context);
   const violations = listViolations(record, event.outcome, context);
-  // Prompts and answers are checked; the record keeps only how the request ended.
+  // The answer has been checked above, so the record drops it and keeps only the outcome.
   const outcome: Outcome =
     event.outcome.kind === 'finished' ? { kind: 'finished', answer: null } : event.outcome;
   state.table.set(event.number, { ...record, outcome, lastAt: event.at });
@@ -137,7 +142,7 @@
     open: state.open - 1,
     violations: [...state.violations, ...violations],
   };
-  return toStep(next, ...toDoneEffects(next));
+  return toStep(next, ...buildDoneEffects(next));
 };
 
 const openRequest = (
@@ -161,7 +166,7 @@
   return toStep({ ...state, open: state.open + 1 });
 };
 
-const closeDrain = (state: RequestsState): RequestsStep => {
+const endDrain = (state: RequestsState): RequestsStep => {
   if (state.phase === 'over') return toStep(state);
   for (const [number, record] of state.table) {
     if (record.outcome.kind !== 'open') continue;
@@ -171,12 +176,12 @@
 };
 
 /**
- * Decides one event of the requests.
+ * Handles one event of the requests.
  *
- * @param state - requests so far
- * @param event - part of an answer, end of a request or end of the run
- * @param context - classes and measured time
- * @returns the next state, with `done` after the last request
+ * @param state - requests of the run so far
+ * @param event - start, answer part, retry or end of a request, or end of arrivals or drain time
+ * @param context - classes and start of the measured time
+ * @returns the next state, with the effect `done` once arrivals are over and no request is open
  */
 export const decideRequests = (
   state: RequestsState,
@@ -191,18 +196,18 @@
     case 'called-again': {
       const record = state.table.get(event.number);
       if (record === undefined) return toStep(state);
-      const calledAgain = [...record.calledAgain, event.how];
+      const calledAgain = [...record.calledAgain, event.retryKind];
       state.table.set(event.number, { ...record, calledAgain });
       return toStep(state);
     }
     case 'ended':
-      return settleRequest(state, event, context);
+      return closeRequest(state, event, context);
     case 'arrivals-over': {
       const next: RequestsState = { ...state, phase: 'draining' };
-      return toStep(next, ...toDoneEffects(next));
+      return toStep(next, ...buildDoneEffects(next));
     }
     case 'drain-over':
-      return closeDrain(state);
+      return endDrain(state);
     default:
       return assertNever(event);
   }
@@ -211,9 +216,9 @@
 /**
  * Creates the child that checks and measures requests.
  *
- * @param scenario - classes and measured time
+ * @param scenario - classes and start of the measured time
  * @param run - id of the run
- * @returns the decisions of the child
+ * @returns the logic of the child
  */
 export const createRequestsChild = (
   scenario: Scenario,
--- a/packages/load/samples/fetchPages.ts
+++ b/packages/load/samples/fetchPages.ts
@@ -31,9 +31,9 @@
 /**
  * Fetches the counters of all engine stand-ins.
  *
- * @param engineUrls - addresses by id
- * @param dispatcher - connections
- * @returns the counters of those that answered
+ * @param engineUrls - addresses by engine id
+ * @param dispatcher - HTTP connections
+ * @returns the counters of the engines that answered
  */
 export const fetchCounters = async (
   engineUrls: Readonly<Record<string, string>>,
@@ -43,40 +43,40 @@
     engine,
     ...COUNTERS_SCHEMA.parse(await fetchPage(`${url}/standin/counters`, dispatcher)),
   }));
-  const settled = await Promise.allSettled(pages);
-  return settled.flatMap((page) => (page.status === 'fulfilled' ? [page.value] : []));
+  const results = await Promise.allSettled(pages);
+  return results.flatMap((page) => (page.status === 'fulfilled' ? [page.value] : []));
 };
 
 /**
- * Fetches how often each request id ran, over all engine stand-ins.
+ * Fetches the number of generations with each request id, over all engine stand-ins.
  *
- * @param engineUrls - addresses by id
- * @param dispatcher - connections
- * @returns executions by request id
+ * @param engineUrls - addresses by engine id
+ * @param dispatcher - HTTP connections
+ * @returns the counts by request id
  */
-export const fetchEngineRuns = async (
+export const fetchGenerationCounts = async (
   engineUrls: Readonly<Record<string, string>>,
   dispatcher: Dispatcher,
 ): Promise<ReadonlyMap<string, number>> => {
-  const runs = new Map<string, number>();
+  const counts = new Map<string, number>();
   for (const url of Object.values(engineUrls)) {
     const page = await fetchPage(`${url}/standin/stats`, dispatcher);
     for (const [id, count] of Object.entries(REQUESTS_SCHEMA.parse(page).requests)) {
-      runs.set(id, (runs.get(id) ?? 0) + count);
+      counts.set(id, (counts.get(id) ?? 0) + count);
     }
   }
-  return runs;
+  return counts;
 };
 
 /**
- * Fetches how often a key ran, over all service stand-ins.
+ * Fetches the number of executions with an idempotency key, over all service stand-ins.
  *
- * @param inspectionUrls - inspection pages
+ * @param inspectionUrls - base URLs of the inspection pages
  * @param key - idempotency key
- * @param dispatcher - connections
- * @returns executions
+ * @param dispatcher - HTTP connections
+ * @returns the number of executions
  */
-export const fetchExecutions = async (
+export const fetchExecutionCount = async (
   inspectionUrls: readonly string[],
   key: string,
   dispatcher: Dispatcher,
--- a/packages/timeline/clocks.ts
+++ b/packages/timeline/clocks.ts
@@ -2,9 +2,9 @@
 import type { EventTable } from './sources.js';
 import type { Millis } from '../core/clock.js';
 
-/** Bounds of the difference between two clocks, from the messages between their processes. */
+/** Bounds on the difference between two clocks, derived from messages between the processes. */
 interface ClockBounds {
-  /** Smallest possible reading of the second clock minus that of the first. */
+  /** Smallest possible difference: reading of the second clock minus that of the first. */
   readonly low: Millis;
   readonly high: Millis;
 }
@@ -13,50 +13,56 @@
 
 const UNBOUNDED: ClockBounds = { low: Number.NEGATIVE_INFINITY, high: Number.POSITIVE_INFINITY };
 
-/** A message that left at `a` and arrived at `b` shows that the clocks differ by at most b - a. */
+/**
+ * Derives the bounds from the messages: one sent at `a` and received at `b`, each by the local
+ * clock, shows that the receiver's clock is at most b - a ahead of the sender's.
+ */
 const collectBounds = (table: EventTable): BoundsTable => {
   const bounds = new Map<number, Map<number, ClockBounds>>();
-  const narrow = (first: number, second: number, low: Millis, high: Millis): void => {
+  const narrowBounds = (first: number, second: number, low: Millis, high: Millis): void => {
     const row = bounds.get(first) ?? new Map<number, ClockBounds>();
-    const known = row.get(second) ?? UNBOUNDED;
-    row.set(second, { low: Math.max(known.low, low), high: Math.min(known.high, high) });
+    const previous = row.get(second) ?? UNBOUNDED;
+    row.set(second, { low: Math.max(previous.low, low), high: Math.min(previous.high, high) });
     bounds.set(first, row);
   };
   for (const edge of buildMessageEdges(table)) {
     const sender = table.sourceOf[edge.from] ?? 0;
     const receiver = table.sourceOf[edge.to] ?? 0;
     const difference = (table.events[edge.to]?.at ?? 0) - (table.events[edge.from]?.at ?? 0);
-    narrow(sender, receiver, UNBOUNDED.low, difference);
-    narrow(receiver, sender, -difference, UNBOUNDED.high);
+    narrowBounds(sender, receiver, UNBOUNDED.low, difference);
+    narrowBounds(receiver, sender, -difference, UNBOUNDED.high);
   }
   return bounds;
 };
 
-/** Takes the middle when messages went both ways, else the tightest message as without delay. */
+/**
+ * Estimates a clock difference: the midpoint of the bounds when messages went both ways, otherwise
+ * the only bound, which assumes that its message had no delay.
+ */
 const estimateDifference = (bounds: ClockBounds): Millis => {
   if (bounds.low === UNBOUNDED.low) return bounds.high;
   if (bounds.high === UNBOUNDED.high) return bounds.low;
   return (bounds.low + bounds.high) / 2;
 };
 
-interface Link {
+interface ClockLink {
   readonly from: number;
   readonly to: number;
   readonly bounds: ClockBounds;
 }
 
-/** The link to a source not yet reached whose clock difference is known best. */
-const pickTightest = (
+/** Picks the link with the narrowest bounds from a reached source to one not yet reached. */
+const pickTightestLink = (
   bounds: BoundsTable,
   reached: ReadonlyMap<number, Millis>,
-): Link | undefined => {
-  let best: Link | undefined;
+): ClockLink | undefined => {
+  let best: ClockLink | undefined;
   for (const from of reached.keys()) {
-    for (const [to, link] of bounds.get(from) ?? []) {
+    for (const [to, candidate] of bounds.get(from) ?? []) {
       if (reached.has(to)) continue;
-      const width = link.high - link.low;
+      const width = candidate.high - candidate.low;
       if (best === undefined || width < best.bounds.high - best.bounds.low) {
-        best = { from, to, bounds: link };
+        best = { from, to, bounds: candidate };
       }
     }
   }
@@ -64,11 +70,12 @@
 };
 
 /**
- * Estimates how far each process's clock is ahead of that of the first process it exchanges
- * messages with, directly or through others.
+ * Estimates how far each process's clock is ahead of the reference clock: that of the first source
+ * with which the process exchanged messages, directly or through other processes.
  *
  * @param table - events of all processes
- * @returns offset of each source's clock in milliseconds; 0 for a source without messages
+ * @returns offset of each source's clock in milliseconds; 0 for the reference and for a source
+ *   without messages
  */
 export const estimateClockOffsets = (table: EventTable): readonly Millis[] => {
   const bounds = collectBounds(table);
@@ -77,7 +84,7 @@
     if (offsets.has(root)) continue;
     offsets.set(root, 0);
     for (;;) {
-      const link = pickTightest(bounds, offsets);
+      const link = pickTightestLink(bounds, offsets);
       if (link === undefined) break;
       offsets.set(link.to, (offsets.get(link.from) ?? 0) + estimateDifference(link.bounds));
     }
--- a/packages/timeline/edges.ts
+++ b/packages/timeline/edges.ts
@@ -2,21 +2,24 @@
 import type { EventTable } from './sources.js';
 import type { EventName } from '../core/events/catalogue.js';
 
-/** One node comes before another. Nodes are event indices; higher ones are offset barriers. */
+/**
+ * States that one node precedes another. A node is the index of an event; numbers past the last
+ * event are barriers between log offsets.
+ */
 export interface Edge {
   readonly from: number;
   readonly to: number;
   readonly kind: CauseKind;
 }
 
-/** The partial order of the events. */
+/** Partial order of the events as a directed graph. */
 export interface PartialOrder {
-  /** Number of nodes: the events and one barrier for each log offset. */
-  readonly nodes: number;
+  /** Number of nodes: the events and the barriers between log offsets. */
+  readonly nodeCount: number;
   readonly edges: readonly Edge[];
 }
 
-/** Events that a process logs when its own append was answered. */
+/** Events that a process logs when the log confirms its own append. */
 const APPENDING_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
   'intent-appended',
   'outcome-appended',
@@ -24,13 +27,13 @@
   'operator-record-accepted',
 ]);
 
-const collectBy = <Key>(
+const collectIndices = <Key>(
   table: EventTable,
-  findKey: (index: number) => Key | undefined,
+  getKey: (index: number) => Key | undefined,
 ): ReadonlyMap<Key, readonly number[]> => {
   const groups = new Map<Key, number[]>();
   table.events.forEach((_event, index) => {
-    const key = findKey(index);
+    const key = getKey(index);
     if (key === undefined) return;
     const group = groups.get(key);
     if (group === undefined) groups.set(key, [index]);
@@ -46,22 +49,22 @@
   });
 
 /**
- * Builds the edges from each message's sending to its arrival.
+ * Builds an edge from the sending of each message to its receipt.
  *
- * An id that one process sent several times counts from its first sending; an id that several
- * processes sent does not tell which message arrived and gives no edge.
+ * For an id that one process sent several times, the edge starts at the first sending. An id sent
+ * by several processes is ambiguous and gets no edge.
  *
  * @param table - events of all processes
- * @returns one edge for each arrival in another process
+ * @returns one edge for each receipt in another process
  */
 export const buildMessageEdges = (table: EventTable): readonly Edge[] => {
-  const sends = collectBy(table, (index) => table.events[index]?.sent);
+  const sends = collectIndices(table, (index) => table.events[index]?.sent);
   return table.events.flatMap((event, to): readonly Edge[] => {
     const senders = event.received === undefined ? [] : (sends.get(event.received) ?? []);
     const [from] = senders;
     if (from === undefined || table.sourceOf[from] === table.sourceOf[to]) return [];
-    const isAmbiguous = senders.some((index) => table.sourceOf[index] !== table.sourceOf[from]);
-    return isAmbiguous ? [] : [{ from, to, kind: 'message' }];
+    const hasManySenders = senders.some((index) => table.sourceOf[index] !== table.sourceOf[from]);
+    return hasManySenders ? [] : [{ from, to, kind: 'message' }];
   });
 };
 
@@ -71,7 +74,7 @@
 };
 
 const buildAppendEdges = (table: EventTable): readonly Edge[] => {
-  const groups = collectBy(table, (index) => toPositionKey(table, index));
+  const groups = collectIndices(table, (index) => toPositionKey(table, index));
   return [...groups.values()].flatMap((group) => {
     const from = group.find((index) =>
       APPENDING_EVENTS.has(table.events[index]?.name as EventName),
@@ -83,13 +86,13 @@
   });
 };
 
-const collectOffsets = (
-  members: readonly number[],
-  offsetOf: (index: number) => number,
+const collectByOffset = (
+  indices: readonly number[],
+  getOffset: (index: number) => number,
 ): readonly (readonly number[])[] => {
-  const offsets = [...new Set(members.map(offsetOf))].sort((left, right) => left - right);
+  const offsets = [...new Set(indices.map(getOffset))].sort((left, right) => left - right);
   const groups = new Map(offsets.map((offset): [number, number[]] => [offset, []]));
-  for (const index of members) groups.get(offsetOf(index))?.push(index);
+  for (const index of indices) groups.get(getOffset(index))?.push(index);
   return [...groups.values()];
 };
 
@@ -103,50 +106,54 @@
 ];
 
 /**
- * Finds for each event the highest offset that its process had met in the event's stream. A process
- * that handles several records at once returns to lower offsets, and such an event is as late as
- * the highest one.
+ * Computes for each event the highest offset of its stream that its process had logged by then, or
+ * -1 for an event without an offset. A process that handles several records concurrently logs lower
+ * offsets after higher ones; such an event is ordered by the highest offset logged before it.
  */
-const findFronts = (table: EventTable): readonly number[] => {
-  const fronts = new Map<string, number>();
+const computeHighWatermarks = (table: EventTable): readonly number[] => {
+  const watermarks = new Map<string, number>();
   return table.events.map((event, index) => {
     if (event.position === undefined) return -1;
     const key = JSON.stringify([table.sourceOf[index], event.position.stream]);
-    const front = Math.max(fronts.get(key) ?? -1, event.position.offset);
-    fronts.set(key, front);
-    return front;
+    const watermark = Math.max(watermarks.get(key) ?? -1, event.position.offset);
+    watermarks.set(key, watermark);
+    return watermark;
   });
 };
 
-/** A barrier between two offsets of a stream keeps the number of edges linear in the events. */
+/**
+ * Orders the events of each stream by offset. A barrier node between consecutive offsets keeps the
+ * number of edges linear in the number of events.
+ */
 const buildOffsetOrder = (table: EventTable): PartialOrder => {
-  const streams = collectBy(table, (index) => table.events[index]?.position?.stream);
-  const fronts = findFronts(table);
+  const streams = collectIndices(table, (index) => table.events[index]?.position?.stream);
+  const watermarks = computeHighWatermarks(table);
   const edges: Edge[] = [];
-  let nodes = table.events.length;
-  for (const members of streams.values()) {
-    const groups = collectOffsets(members, (index) => fronts[index] ?? -1);
-    groups.slice(1).forEach((after, place) => {
-      const before = groups[place] ?? [];
-      const earlierBarrier = place === 0 ? [] : [nodes - 1];
-      edges.push(...buildBarrier([...before, ...earlierBarrier], nodes, after));
-      nodes += 1;
+  let nodeCount = table.events.length;
+  for (const indices of streams.values()) {
+    const groups = collectByOffset(indices, (index) => watermarks[index] ?? -1);
+    groups.slice(1).forEach((after, groupIndex) => {
+      const before = groups[groupIndex] ?? [];
+      const earlierBarrier = groupIndex === 0 ? [] : [nodeCount - 1];
+      edges.push(...buildBarrier([...before, ...earlierBarrier], nodeCount, after));
+      nodeCount += 1;
     });
   }
-  return { nodes, edges };
+  return { nodeCount, edges };
 };
 
 /**
- * Builds the partial order of the events: each process's own sequence, messages from sending to
- * arrival, appends before their readers, and lower offsets of a stream before higher ones.
+ * Builds the partial order of the events: the sequence of each process, the sending of a message
+ * before its receipt, an append before the reads of its record, and lower offsets of a stream
+ * before higher ones.
  *
  * @param table - events of all processes
- * @returns nodes and edges; the edges of the last two kinds can contradict the others
+ * @returns nodes and edges; append and offset edges can contradict the others and each other
  */
 export const buildPartialOrder = (table: EventTable): PartialOrder => {
   const offsets = buildOffsetOrder(table);
   return {
-    nodes: offsets.nodes,
+    nodeCount: offsets.nodeCount,
     edges: [
       ...buildSequenceEdges(table),
       ...buildMessageEdges(table),
--- a/packages/timeline/explainMove.ts
+++ b/packages/timeline/explainMove.ts
@@ -1,10 +1,10 @@
-import { readNumber, readText } from './eventData.js';
+import { readNumber, readString } from './eventData.js';
 import type { MoveExplanation, MoveState, MoveStep } from './explainTypes.js';
 import type { MergedEvent } from './types.js';
 import type { EventName } from '../core/events/catalogue.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** Events of a move with the state that each leaves it in. */
+/** Events of a move and the state of the move after each. */
 const MOVE_EVENTS: ReadonlyMap<EventName, MoveState> = new Map([
   ['move-started', 'running'],
   ['move-share-changed', 'running'],
@@ -17,22 +17,22 @@
 const isTerminal = (event: LoggedEvent): boolean =>
   event.name === 'move-done' || event.name === 'move-taken-back';
 
-/** The first terminal record in log order is final; events without offset come after those with. */
+/** Finds the terminal event with the lowest log offset; events without an offset sort last. */
 const findTerminal = (events: readonly LoggedEvent[]): LoggedEvent | undefined => {
-  const offsetOf = (event: LoggedEvent): number =>
+  const toOffset = (event: LoggedEvent): number =>
     event.position?.offset ?? Number.POSITIVE_INFINITY;
   return events
     .filter(isTerminal)
     .reduce<LoggedEvent | undefined>(
-      (first, event) => (first === undefined || offsetOf(event) < offsetOf(first) ? event : first),
+      (first, event) => (first === undefined || toOffset(event) < toOffset(first) ? event : first),
       undefined,
     );
 };
 
 const describeStep = (event: LoggedEvent): MoveStep => {
   const share = readNumber(event, 'share');
-  const evidence = readText(event, 'evidence');
-  const reason = readText(event, 'reason');
+  const evidence = readString(event, 'evidence');
+  const reason = readString(event, 'reason');
   return {
     process: event.process,
     name: event.name,
@@ -44,19 +44,19 @@
 };
 
 /**
- * Explains one version move: its shares with the evidence for each, and why it ended.
+ * Explains one version move: its traffic shares with the evidence for each, and why it ended.
  *
  * @param events - merged events of all processes
  * @param move - name of the move
- * @returns the explanation; its state is `unknown` when no event names the move
+ * @returns the explanation; its state is `unknown` when no event refers to the move
  */
 export const explainMove = (events: readonly MergedEvent[], move: string): MoveExplanation => {
-  const own = events
+  const moveEvents = events
     .map(({ event }) => event)
     .filter((event) => event.entity === move && MOVE_EVENTS.has(event.name));
-  const terminal = findTerminal(own);
-  const last = terminal ?? own.at(-1);
-  const steps = own.map(describeStep);
+  const terminal = findTerminal(moveEvents);
+  const last = terminal ?? moveEvents.at(-1);
+  const steps = moveEvents.map(describeStep);
   const lastShare = steps.findLast((step) => step.share !== undefined)?.share;
   const endedAt = terminal?.position?.offset;
   return {
--- a/packages/timeline/explainRequest.ts
+++ b/packages/timeline/explainRequest.ts
@@ -1,7 +1,7 @@
-import { readList, readNumber, readText } from './eventData.js';
+import { readList, readNumber, readString } from './eventData.js';
 import type {
   Attempt,
-  Explanation,
+  RequestExplanation,
   PlacementStep,
   Refusal,
   RequestEnd,
@@ -11,7 +11,7 @@
 import type { EventName } from '../core/events/catalogue.js';
 import type { LoggedEvent } from '../core/events/types.js';
 
-/** Events that end a caller's request, with the end they mean. */
+/** Events that end a caller's request and the outcome that each stands for. */
 const END_EVENTS: ReadonlyMap<EventName, RequestEnd> = new Map([
   ['request-finished', 'finished'],
   ['request-failed', 'failed'],
@@ -28,7 +28,7 @@
   'intent-void',
 ]);
 
-/** Events that follow a wait in the queue. */
+/** Events that end the wait of a request in the queue. */
 const QUEUE_END_EVENTS: ReadonlySet<EventName> = new Set<EventName>([
   'request-placed',
   'request-failed',
@@ -43,7 +43,7 @@
 };
 
 const readEndpoint = (event: LoggedEvent): string =>
-  event.endpoint ?? readText(event, 'endpoint') ?? 'unknown';
+  event.endpoint ?? readString(event, 'endpoint') ?? 'unknown';
 
 const collectPlacements = (events: readonly LoggedEvent[]): readonly PlacementStep[] =>
   events
@@ -51,14 +51,14 @@
     .map((event) => ({
       process: event.process,
       candidates: readList(event, 'candidates'),
-      chosen: readText(event, 'chosen') ?? event.endpoint ?? 'unknown',
-      reason: readText(event, 'reason') ?? 'not recorded',
+      chosen: readString(event, 'chosen') ?? event.endpoint ?? 'unknown',
+      reason: readString(event, 'reason') ?? 'not recorded',
     }));
 
 const isSameIncarnation = (left: LoggedEvent, right: LoggedEvent): boolean =>
   left.process === right.process && left.incarnation === right.incarnation;
 
-/** An attempt ends with the next end for its endpoint in the same process. */
+/** Matches each attempt with the next end event of its endpoint in the same process. */
 const findAttemptEnds = (events: readonly LoggedEvent[]): ReadonlyMap<LoggedEvent, LoggedEvent> => {
   const open: LoggedEvent[] = [];
   const ends = new Map<LoggedEvent, LoggedEvent>();
@@ -75,12 +75,12 @@
 };
 
 const describeAttempt = (start: LoggedEvent, end: LoggedEvent | undefined): Attempt => {
-  const code = end && readText(end, 'code');
+  const code = end && readString(end, 'code');
   return {
     process: start.process,
     endpoint: readEndpoint(start),
     ...(start.sent === undefined ? {} : { sent: start.sent }),
-    verdict: end === undefined ? 'in-progress' : (readText(end, 'verdict') ?? 'not recorded'),
+    verdict: end === undefined ? 'in-progress' : (readString(end, 'verdict') ?? 'not recorded'),
     ...(code === undefined ? {} : { code }),
     ...(end === undefined ? {} : { durationMs: end.at - start.at }),
   };
@@ -102,7 +102,7 @@
     {
       process: event.process,
       kind: 'queued',
-      cause: readText(event, 'reason') ?? 'not recorded',
+      cause: readString(event, 'reason') ?? 'not recorded',
       ...(end === undefined ? {} : { durationMs: end.at - event.at }),
     },
   ];
@@ -114,7 +114,7 @@
     {
       process: event.process,
       kind: 'stalled',
-      cause: readText(event, 'cause') ?? 'not recorded',
+      cause: readString(event, 'cause') ?? 'not recorded',
       ...(durationMs === undefined ? {} : { durationMs }),
     },
   ];
@@ -132,28 +132,33 @@
     .map((event) => ({
       process: event.process,
       name: event.name,
-      code: readText(event, 'code') ?? 'not recorded',
-      verdict: readText(event, 'verdict') ?? 'not recorded',
-      reason: readText(event, 'reason') ?? readText(event, 'message') ?? 'not recorded',
+      code: readString(event, 'code') ?? 'not recorded',
+      verdict: readString(event, 'verdict') ?? 'not recorded',
+      reason: readString(event, 'reason') ?? readString(event, 'message') ?? 'not recorded',
     }));
 
 /**
- * Explains one request: which endpoints were weighed, what spoke for the chosen one, how each
- * attempt ended, where it waited and why it was refused.
+ * Explains one request: which endpoints were candidates, why one of them was chosen, how each
+ * attempt ended, where the request waited and why it was refused.
  *
  * @param events - merged events of all processes
- * @param requestId - the request
- * @returns the explanation; its end is `unknown` when no event names the request
+ * @param requestId - id of the request
+ * @returns the explanation; its end is `unknown` when no event refers to the request
  */
-export const explainRequest = (events: readonly MergedEvent[], requestId: string): Explanation => {
-  const own = events.map(({ event }) => event).filter((event) => event.requestId === requestId);
+export const explainRequest = (
+  events: readonly MergedEvent[],
+  requestId: string,
+): RequestExplanation => {
+  const requestEvents = events
+    .map(({ event }) => event)
+    .filter((event) => event.requestId === requestId);
   return {
     requestId,
-    end: findEnd(own),
-    placements: collectPlacements(own),
-    attempts: collectAttempts(own),
-    waits: collectWaits(own),
-    refusals: collectRefusals(own),
-    events: own.length,
+    end: findEnd(requestEvents),
+    placements: collectPlacements(requestEvents),
+    attempts: collectAttempts(requestEvents),
+    waits: collectWaits(requestEvents),
+    refusals: collectRefusals(requestEvents),
+    events: requestEvents.length,
   };
 };
--- a/packages/timeline/merge.ts
+++ b/packages/timeline/merge.ts
@@ -9,21 +9,24 @@
 
 const collectCauses = (
   edges: readonly Edge[],
-  places: ReadonlyMap<number, number>,
+  positions: ReadonlyMap<number, number>,
 ): ReadonlyMap<number, readonly Cause[]> => {
   const causes = new Map<number, Cause[]>();
   for (const { from, to, kind } of edges) {
     if (kind !== 'message' && kind !== 'append') continue;
-    const order = places.get(from) ?? 0;
-    // An edge that was left out to break a cycle is not shown as a cause.
-    if (order >= (places.get(to) ?? 0)) continue;
+    const order = positions.get(from) ?? 0;
+    // An edge that was removed to break a cycle is not reported as a cause.
+    if (order >= (positions.get(to) ?? 0)) continue;
     causes.set(to, [...(causes.get(to) ?? []), { order, kind }]);
   }
   return causes;
 };
 
-/** Barriers come as early as they can; events by estimated time, then by process and sequence. */
-const buildComparison =
+/**
+ * Orders barriers first, so that they delay no event, and events by estimated time. Ties are broken
+ * by index, that is by process, incarnation and sequence number.
+ */
+const buildComparator =
   (table: EventTable, estimates: readonly number[]) =>
   (left: number, right: number): number => {
     const leftAt = estimates[left] ?? Number.NEGATIVE_INFINITY;
@@ -33,11 +36,11 @@
   };
 
 /**
- * Merges the events of many processes into one causal order. Clocks only decide between events
- * that neither a sequence, a message nor a log offset orders.
+ * Merges the events of many processes into one causal order. Estimated times only decide between
+ * events that are not ordered by a sequence, a message or a log offset.
  *
  * @param logs - events of the processes, in any order
- * @returns all events; the same logs give the same order
+ * @returns all events; the result does not depend on the order of the logs
  */
 export const mergeTimelines = (logs: readonly ProcessLog[]): readonly MergedEvent[] => {
   const table = collectSources(logs);
@@ -46,26 +49,26 @@
     (event, index) => event.at - (offsets[table.sourceOf[index] ?? 0] ?? 0),
   );
   const order = buildPartialOrder(table);
-  const nodes = sortNodes(order, buildComparison(table, estimates));
+  const nodes = sortNodes(order, buildComparator(table, estimates));
   const sorted = nodes.filter((node) => node < table.events.length);
-  const places = new Map(sorted.map((index, place) => [index, place]));
-  const causes = collectCauses(order.edges, places);
-  return sorted.map((index, place) => ({
-    order: place,
+  const positions = new Map(sorted.map((index, position) => [index, position]));
+  const causes = collectCauses(order.edges, positions);
+  return sorted.map((index, position) => ({
+    order: position,
     event: table.events[index] as LoggedEvent,
     estimatedAt: estimates[index] ?? 0,
     causes: causes.get(index) ?? [],
   }));
 };
 
-const hasValue = (wanted: string | undefined, ...values: readonly unknown[]): boolean =>
-  wanted === undefined || values.includes(wanted);
+const hasExpectedValue = (expected: string | undefined, ...values: readonly unknown[]): boolean =>
+  expected === undefined || values.includes(expected);
 
 /**
- * Selects the events that match all given fields. The order stays that of the whole merge.
+ * Selects the events that match every field of a selection. They keep their merged order numbers.
  *
  * @param events - merged events
- * @param selection - wanted values; an empty selection matches all
+ * @param selection - required values; an empty selection matches every event
  * @returns the matching events
  */
 export const selectEvents = (
@@ -74,8 +77,8 @@
 ): readonly MergedEvent[] =>
   events.filter(
     ({ event }) =>
-      hasValue(selection.requestId, event.requestId) &&
-      hasValue(selection.endpoint, event.endpoint, event.data?.endpoint) &&
-      hasValue(selection.dataCentre, event.dataCentre, event.data?.dataCentre) &&
-      hasValue(selection.entity, event.entity, event.data?.entity),
+      hasExpectedValue(selection.requestId, event.requestId) &&
+      hasExpectedValue(selection.endpoint, event.endpoint, event.data?.endpoint) &&
+      hasExpectedValue(selection.dataCentre, event.dataCentre, event.data?.dataCentre) &&
+      hasExpectedValue(selection.entity, event.entity, event.data?.entity),
   );
--- a/packages/timeline/render.test.ts
+++ b/packages/timeline/render.test.ts
@@ -5,19 +5,19 @@
 import { renderTimeline } from './renderTimeline.js';
 import { buildEvent, buildLog } from './testEvents.js';
 
-const HOSTILE = `</script><script>alert(1)</script>"'&\u0000`;
+const HOSTILE_TEXT = `</script><script>alert(1)</script>"'&\u0000`;
 
 const buildMerged = (requestId: string) =>
   mergeTimelines([
     buildLog('a', [buildEvent('a', 0, 1, { requestId, sent: 'm1' })]),
     buildLog('b<i>', [
-      buildEvent('b<i>', 0, 5, { received: 'm1', data: { note: HOSTILE } }, 'work-refused'),
+      buildEvent('b<i>', 0, 5, { received: 'm1', data: { note: HOSTILE_TEXT } }, 'work-refused'),
     ]),
   ]);
 
-// Guards against text of a caller that runs as script in an operator's browser.
-test('the page escapes every text and loads nothing', (t) => {
-  const page = renderTimeline(buildMerged(HOSTILE), 'html', HOSTILE);
+// Guards against cross-site scripting: a caller's text must not run in an operator's browser.
+test('the page escapes all text and loads no resource', (t) => {
+  const page = renderTimeline(buildMerged(HOSTILE_TEXT), 'html', HOSTILE_TEXT);
   t.is(page.split('<script>').length, 2);
   t.is(page.split('</script>').length, 2);
   t.false(page.includes('<i>'));
@@ -26,14 +26,14 @@
   t.notRegex(page, /\b(src|href)=|url\((?!#head\))|@import/);
 });
 
-// Guards against arrows that do not join the message's two events.
+// Guards against arrows that do not connect the send and receive events of a message.
 test('the page has a lane for each process and an arrow for each message', (t) => {
-  const page = renderTimeline(buildMerged('r1'), 'html', 'time line');
+  const page = renderTimeline(buildMerged('r1'), 'html', 'timeline');
   t.is(page.match(/class="lane"/g)?.length, 2);
   t.regex(page, /class="arrow message" data-from="0" data-to="1"/);
 });
 
-// Guards against a line that leaves out what an operator searches for.
+// Guards against output without the fields that operators search for.
 test('text and JSON show order, process, fields and causes', (t) => {
   const merged = buildMerged('r1');
   const text = renderTimeline(merged, 'text', '');
@@ -71,13 +71,14 @@
   };
 };
 
-// Guards against a filter box or a click that does nothing; there is no browser in the tests.
-test('the script of the page filters events and shows the details of a clicked one', (t) => {
+// Guards against a filter box or a click without effect. The script runs against fake DOM elements,
+// since the tests have no browser.
+test('the page script filters events and shows the details of a clicked event', (t) => {
   const events = ['alpha', 'beta', 'alpha gamma'].map((text, order) =>
     createElement({ text, order: order.toString(), x: '24', details: `details of ${text}` }),
   );
   const arrows = [createElement({ from: '0', to: '2' }), createElement({ from: '0', to: '1' })];
-  const named = new Map(
+  const elements = new Map(
     ['timeline', 'details', 'count', 'filter'].map((id) => [
       id,
       createElement({ rowHeight: '22', top: '48' }),
@@ -85,11 +86,11 @@
   );
   runInNewContext(PAGE_SCRIPT, {
     document: {
-      getElementById: (id: string) => named.get(id),
+      getElementById: (id: string) => elements.get(id),
       querySelectorAll: (selector: string) => (selector === '.event' ? events : arrows),
     },
   });
-  const filter = named.get('filter');
+  const filter = elements.get('filter');
   if (filter !== undefined) filter.value = 'ALPHA';
   filter?.listeners.get('input')?.();
   t.deepEqual(
@@ -101,7 +102,7 @@
     arrows.map(({ classes }) => classes.has('hidden')),
     [false, true],
   );
-  t.is(named.get('count')?.textContent, '2 of 3 events');
+  t.is(elements.get('count')?.textContent, '2 of 3 events');
   events[2]?.listeners.get('click')?.();
-  t.is(named.get('details')?.textContent, 'details of alpha gamma');
+  t.is(elements.get('details')?.textContent, 'details of alpha gamma');
 });
