--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -3,37 +3,40 @@
 import { createParser } from 'eventsource-parser';
 import type { LinkAddress } from './linkProxy.js';
 import type { SoakPlatform, WireCall } from './soakPlatform.js';
-import type { CallEnd } from './types.js';
+import type { CallOutcome } from './types.js';
 import type { Millis } from '../core/clock.js';
 
 /** One caller with the connection that it keeps. */
 export interface Caller {
   readonly call: (
-    to: LinkAddress,
-    wire: WireCall,
+    target: LinkAddress,
+    wireCall: WireCall,
     body: string,
-    patienceMs: Millis,
-  ) => Promise<CallEnd>;
+    timeoutMs: Millis,
+  ) => Promise<CallOutcome>;
   readonly close: () => void;
 }
 
-interface AnswerText {
+interface AnswerBody {
   readonly text: string;
-  readonly isWhole: boolean;
+  readonly isComplete: boolean;
 }
 
-const readText = (answer: IncomingMessage, onText: (text: string) => void): Promise<AnswerText> =>
+const readAnswer = (
+  answer: IncomingMessage,
+  onChunk: (text: string) => void,
+): Promise<AnswerBody> =>
   new Promise((resolve) => {
     let text = '';
     answer.setEncoding('utf8');
-    answer.on('data', (part: string) => {
-      text += part;
-      onText(part);
+    answer.on('data', (chunk: string) => {
+      text += chunk;
+      onChunk(chunk);
     });
     // `complete` tells whether the answer was cut; the error says nothing beyond that.
     answer.on('error', () => undefined);
     answer.on('close', () => {
-      resolve({ text, isWhole: answer.complete });
+      resolve({ text, isComplete: answer.complete });
     });
   });
 
@@ -46,44 +49,44 @@
 export const createCaller = (platform: SoakPlatform): Caller => {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
 
-  const call: Caller['call'] = (to, wire, body, patienceMs) =>
+  const call: Caller['call'] = (target, wireCall, body, timeoutMs) =>
     new Promise((resolve) => {
       const eventIds: number[] = [];
-      let reached: 'nothing' | 'connection' = 'nothing';
-      let isGivenUp = false;
+      let connectionState: 'connecting' | 'connected' = 'connecting';
+      let isTimedOut = false;
       const parser = createParser({
         onEvent: ({ id }) => {
           if (id !== undefined) eventIds.push(Number(id));
         },
       });
-      const outgoing = openRequest({ ...to, ...wire, agent });
-      const patience = setTimeout(() => {
-        isGivenUp = true;
+      const outgoing = openRequest({ ...target, ...wireCall, agent });
+      const timer = setTimeout(() => {
+        isTimedOut = true;
         outgoing.destroy();
-      }, patienceMs);
-      const end = (result: CallEnd): void => {
-        clearTimeout(patience);
-        resolve(isGivenUp ? { kind: 'given-up' } : result);
+      }, timeoutMs);
+      const settle = (result: CallOutcome): void => {
+        clearTimeout(timer);
+        resolve(isTimedOut ? { kind: 'given-up' } : result);
       };
       outgoing.on('socket', (socket) => {
-        if (!socket.connecting) reached = 'connection';
+        if (!socket.connecting) connectionState = 'connected';
         else
           socket.once('connect', () => {
-            reached = 'connection';
+            connectionState = 'connected';
           });
       });
       outgoing.on('error', () => {
-        end(reached === 'nothing' ? { kind: 'not-sent' } : { kind: 'cut', eventIds });
+        settle(connectionState === 'connecting' ? { kind: 'not-sent' } : { kind: 'cut', eventIds });
       });
       outgoing.on('response', (answer) => {
         const status = answer.statusCode ?? 0;
-        const mark = platform.readMark(answer.headers);
-        void readText(answer, (part) => {
-          parser.feed(part);
-        }).then(({ isWhole, text }) => {
-          end(
-            isWhole
-              ? { kind: 'answered', status, mark, body: text, eventIds }
+        const signature = platform.readSignature(answer.headers);
+        void readAnswer(answer, (chunk) => {
+          parser.feed(chunk);
+        }).then(({ isComplete, text }) => {
+          settle(
+            isComplete
+              ? { kind: 'answered', status, signature, body: text, eventIds }
               : { kind: 'cut', eventIds },
           );
         });
--- a/packages/soak/checkPromises.test.ts
+++ b/packages/soak/checkPromises.test.ts
@@ -5,8 +5,8 @@
 
 const ANSWERS: ExpectedAnswers = {
   eventCount: 3,
-  toBody: (body) => `answer to ${body}`,
-  isMarkOf: (mark, requestId) => mark === `m-${requestId}`,
+  buildBody: (body) => `answer to ${body}`,
+  isSignatureOf: (signature, requestId) => signature === `m-${requestId}`,
 };
 
 const CALL: CallRecord = {
@@ -19,7 +19,7 @@
   body: 'b',
   sentAt: 50_000,
   endedAt: 50_050,
-  end: { kind: 'answered', status: 200, mark: 'm-r-1', body: 'answer to b', eventIds: [] },
+  outcome: { kind: 'answered', status: 200, signature: 'm-r-1', body: 'answer to b', eventIds: [] },
 };
 
 const RUN: RunRecord = {
@@ -35,28 +35,28 @@
 const STREAM: CallRecord = {
   ...CALL,
   kind: 'generation',
-  end: { kind: 'answered', status: 200, mark: 'm-r-1', body: '', eventIds: [1, 2, 3] },
+  outcome: { kind: 'answered', status: 200, signature: 'm-r-1', body: '', eventIds: [1, 2, 3] },
 };
 
 const check = (change: Partial<Observations>): readonly Finding['promise'][] => {
-  const seen: Observations = {
+  const observations: Observations = {
     calls: [CALL],
     runs: [RUN],
     changes: [],
     terminations: [],
-    disturbances: [],
+    disruptions: [],
     ...change,
   };
-  return checkPromises(seen, ANSWERS).map(({ promise }) => promise);
+  return checkPromises(observations, ANSWERS).map(({ promise }) => promise);
 };
 
-const buildAnswered = (change: Partial<Extract<CallRecord['end'], { kind: 'answered' }>>) =>
+const buildAnswered = (change: Partial<Extract<CallRecord['outcome'], { kind: 'answered' }>>) =>
   ({
     ...CALL,
-    end: {
+    outcome: {
       kind: 'answered',
       status: 200,
-      mark: 'm-r-1',
+      signature: 'm-r-1',
       body: 'answer to b',
       eventIds: [],
       ...change,
@@ -71,9 +71,11 @@
 // Guards against a check that cannot fail: each observation below breaks one promise.
 test('each broken promise is found', (t) => {
   t.deepEqual(check({ runs: [RUN, { ...RUN, workerId: 'w-2' }] }), ['at-most-once']);
-  t.deepEqual(check({ calls: [buildAnswered({ status: 503, mark: null })] }), ['true-refusal']);
-  t.deepEqual(check({ calls: [buildAnswered({ mark: 'm-r-2' })] }), ['own-answer']);
-  t.deepEqual(check({ calls: [buildAnswered({ mark: null })] }), ['own-answer']);
+  t.deepEqual(check({ calls: [buildAnswered({ status: 503, signature: null })] }), [
+    'true-refusal',
+  ]);
+  t.deepEqual(check({ calls: [buildAnswered({ signature: 'm-r-2' })] }), ['own-answer']);
+  t.deepEqual(check({ calls: [buildAnswered({ signature: null })] }), ['own-answer']);
   t.deepEqual(check({ calls: [buildAnswered({ body: 'answer to c' })] }), ['own-answer']);
   t.deepEqual(check({ runs: [{ ...RUN, start: 'foreign-copy' }] }), ['own-answer']);
   t.deepEqual(check({ runs: [{ ...RUN, customer: 'other' }] }), ['own-customer']);
@@ -87,11 +89,11 @@
     [1, 1, 2, 3],
     [1, 2],
   ]) {
-    const end = { ...STREAM.end, eventIds } as CallRecord['end'];
-    t.deepEqual(check({ calls: [{ ...STREAM, end }] }), ['events-in-order']);
+    const outcome = { ...STREAM.outcome, eventIds } as CallRecord['outcome'];
+    t.deepEqual(check({ calls: [{ ...STREAM, outcome }] }), ['events-in-order']);
   }
   // A stream that was cut may end early.
-  const cut: CallRecord = { ...STREAM, end: { kind: 'cut', eventIds: [1, 2] } };
+  const cut: CallRecord = { ...STREAM, outcome: { kind: 'cut', eventIds: [1, 2] } };
   t.deepEqual(check({ calls: [cut] }), []);
 });
 
@@ -102,12 +104,12 @@
   t.deepEqual(check({ changes: [leaving] }), ['no-new-work-for-leaving']);
   t.deepEqual(check({ changes: [revoked] }), ['revoked-key']);
   t.deepEqual(check({ changes: [out] }), ['no-new-work-in-data-centre-out']);
-  const disturbances = [{ from: 46_000, until: 46_500 }];
-  t.deepEqual(check({ changes: [leaving, revoked, out], disturbances }), []);
+  const disruptions = [{ from: 46_000, until: 46_500 }];
+  t.deepEqual(check({ changes: [leaving, revoked, out], disruptions }), []);
 });
 
 test('a request that a draining process cuts is found', (t) => {
-  const cut: CallRecord = { ...CALL, end: { kind: 'cut', eventIds: [] } };
+  const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
   const terminations = [{ gateway: 0, incarnation: 1, at: 49_000 }];
   t.deepEqual(check({ calls: [cut], terminations }), ['drain-loses-nothing']);
   t.deepEqual(check({ calls: [cut] }), []);
--- a/packages/soak/checkPromises.ts
+++ b/packages/soak/checkPromises.ts
@@ -1,9 +1,15 @@
-import { APPLY_MS, CONTACT_MS, EVACUATE_MS, GRACE_MS, LOSS_SLACK_MS } from './constants.js';
+import {
+  PROPAGATION_MS,
+  SETTLING_MS,
+  EVACUATION_MS,
+  GRACE_MS,
+  UNREAD_CLOSE_MS,
+} from './constants.js';
 import type {
-  CallEnd,
+  CallOutcome,
   CallKind,
   CallRecord,
-  Disturbance,
+  Disruption,
   Finding,
   Observations,
   PublishedChange,
@@ -16,9 +22,9 @@
 export interface ExpectedAnswers {
   readonly eventCount: number;
   /** Body of the answer to a plain call. */
-  readonly toBody: (callBody: string) => string;
+  readonly buildBody: (callBody: string) => string;
   /** Whether a mark is that of an answer to the request. */
-  readonly isMarkOf: (mark: string, requestId: string) => boolean;
+  readonly isSignatureOf: (signature: string, requestId: string) => boolean;
 }
 
 const STATUS_OK = 200;
@@ -32,58 +38,62 @@
 const isRepeatable = (kind: CallKind): boolean => kind === 'idempotent' || kind === 'resumable';
 
 const checkRefusal = (call: CallRecord, runs: readonly RunRecord[]): readonly Finding[] => {
-  const { end, id, kind } = call;
+  const { outcome, id, kind } = call;
   const isRefused =
-    end.kind === 'answered' && end.mark === null && NOT_RUN_STATUSES.has(end.status);
+    outcome.kind === 'answered' &&
+    outcome.signature === null &&
+    NOT_RUN_STATUSES.has(outcome.status);
   if (!isRefused || runs.length === 0 || isRepeatable(kind)) return [];
-  const detail = `${kind} ${id} was refused with ${end.status.toString()} and ran`;
+  const detail = `${kind} ${id} was refused with ${outcome.status.toString()} and ran`;
   return [{ promise: 'true-refusal', detail }];
 };
 
-const checkOnce = ({ id, kind }: CallRecord, runs: readonly RunRecord[]): readonly Finding[] => {
+const checkStarts = ({ id, kind }: CallRecord, runs: readonly RunRecord[]): readonly Finding[] => {
   const begun = runs.filter(({ start }) => start === 'begun');
-  const foreign = runs.filter(({ start }) => start === 'foreign-copy');
+  const foreignCopies = runs.filter(({ start }) => start === 'foreign-copy');
   const findings: Finding[] = [];
   if (begun.length > 1 && !isRepeatable(kind)) {
     const workers = begun.map(({ workerId }) => workerId).join(', ');
     findings.push({ promise: 'at-most-once', detail: `${kind} ${id} began at ${workers}` });
   }
-  if (foreign.length > 0) {
+  if (foreignCopies.length > 0) {
     findings.push({ promise: 'own-answer', detail: `${id} went on from another’s memory` });
   }
   return findings;
 };
 
 const checkEvents = (call: CallRecord, answers: ExpectedAnswers): readonly Finding[] => {
-  const { end, id } = call;
-  if (end.kind !== 'answered' && end.kind !== 'cut') return [];
-  const isOrdered = end.eventIds.every((eventId, index) => eventId === index + 1);
+  const { outcome, id } = call;
+  if (outcome.kind !== 'answered' && outcome.kind !== 'cut') return [];
+  const isOrdered = outcome.eventIds.every((eventId, index) => eventId === index + 1);
   if (!isOrdered) {
-    const detail = `${id} got the events ${end.eventIds.join(' ')}`;
+    const detail = `${id} got the events ${outcome.eventIds.join(' ')}`;
     return [{ promise: 'events-in-order', detail }];
   }
-  const isWhole = end.eventIds.length === answers.eventCount;
-  const isSuccess = end.kind === 'answered' && end.status === STATUS_OK;
-  if (!isSuccess || isWhole) return [];
-  const detail = `${id} ended as complete after ${end.eventIds.length.toString()} events`;
+  const isComplete = outcome.eventIds.length === answers.eventCount;
+  const isSuccess = outcome.kind === 'answered' && outcome.status === STATUS_OK;
+  if (!isSuccess || isComplete) return [];
+  const detail = `${id} ended as complete after ${outcome.eventIds.length.toString()} events`;
   return [{ promise: 'events-in-order', detail }];
 };
 
 const checkAnswer = (
   { body, id, kind }: CallRecord,
-  end: Extract<CallEnd, { kind: 'answered' }>,
+  outcome: Extract<CallOutcome, { kind: 'answered' }>,
   answers: ExpectedAnswers,
 ): readonly Finding[] => {
-  if (end.mark !== null && !answers.isMarkOf(end.mark, id)) {
-    return [{ promise: 'own-answer', detail: `${id} got the mark ${end.mark}` }];
+  if (outcome.signature !== null && !answers.isSignatureOf(outcome.signature, id)) {
+    return [{ promise: 'own-answer', detail: `${id} got the mark ${outcome.signature}` }];
   }
-  const isSuccess = end.status >= STATUS_OK && end.status < STATUS_REDIRECT;
+  const isSuccess = outcome.status >= STATUS_OK && outcome.status < STATUS_REDIRECT;
   if (!isSuccess) return [];
-  if (end.mark === null) {
+  if (outcome.signature === null) {
     return [{ promise: 'own-answer', detail: `${id} got a success without a mark` }];
   }
-  const isOther = !isStream(kind) && end.body !== answers.toBody(body);
-  return isOther ? [{ promise: 'own-answer', detail: `${id} got the body ${end.body}` }] : [];
+  const isWrongBody = !isStream(kind) && outcome.body !== answers.buildBody(body);
+  return isWrongBody
+    ? [{ promise: 'own-answer', detail: `${id} got the body ${outcome.body}` }]
+    : [];
 };
 
 const checkCustomer = (call: CallRecord, runs: readonly RunRecord[]): readonly Finding[] =>
@@ -95,19 +105,19 @@
     }));
 
 /** Whether nothing was disturbed for a time before and until an instant. */
-const isCalm = (disturbances: readonly Disturbance[], from: Millis, until: Millis): boolean =>
-  disturbances.every((each) => each.until < from - CONTACT_MS || each.from > until);
+const isUndisrupted = (disruptions: readonly Disruption[], from: Millis, until: Millis): boolean =>
+  disruptions.every((each) => each.until < from - SETTLING_MS || each.from > until);
 
 const isLateRun = (change: PublishedChange, run: RunRecord, call: CallRecord): boolean => {
   switch (change.kind) {
     case 'worker-leaving':
-      return run.workerId === change.workerId && run.at > change.at + APPLY_MS;
+      return run.workerId === change.workerId && run.at > change.at + PROPAGATION_MS;
     case 'key-revoked':
-      return call.key === change.key && call.sentAt > change.at + APPLY_MS;
+      return call.key === change.key && call.sentAt > change.at + PROPAGATION_MS;
     case 'data-centre-out':
       return (
         run.dataCentre === change.dataCentre &&
-        run.at > change.at + EVACUATE_MS &&
+        run.at > change.at + EVACUATION_MS &&
         run.at < change.until
       );
     default:
@@ -115,7 +125,7 @@
   }
 };
 
-const toPromise = (change: PublishedChange): Finding['promise'] => {
+const toPromiseName = (change: PublishedChange): Finding['promise'] => {
   switch (change.kind) {
     case 'worker-leaving':
       return 'no-new-work-for-leaving';
@@ -131,15 +141,17 @@
 const checkChanges = (
   call: CallRecord,
   runs: readonly RunRecord[],
-  { changes, disturbances }: Observations,
+  { changes, disruptions }: Observations,
 ): readonly Finding[] =>
   changes.flatMap((change) =>
     runs
-      .filter((run) => isLateRun(change, run, call) && isCalm(disturbances, change.at, run.at))
+      .filter(
+        (run) => isLateRun(change, run, call) && isUndisrupted(disruptions, change.at, run.at),
+      )
       .map((run): Finding => {
         const afterMs = Math.round(run.at - change.at).toString();
         const detail = `${call.id} ran at ${run.workerId} ${afterMs} ms after ${change.kind}`;
-        return { promise: toPromise(change), detail };
+        return { promise: toPromiseName(change), detail };
       }),
   );
 
@@ -147,57 +159,62 @@
 const checkDrain = (
   call: CallRecord,
   runs: readonly RunRecord[],
-  { disturbances, terminations }: Observations,
+  { disruptions, terminations }: Observations,
 ): readonly Finding[] => {
-  if (call.end.kind !== 'cut') return [];
-  const ending = terminations.find(
+  if (call.outcome.kind !== 'cut') return [];
+  const termination = terminations.find(
     ({ at, gateway, incarnation }) =>
       gateway === call.gateway &&
       incarnation === call.incarnation &&
       call.endedAt >= at &&
       call.endedAt <= at + GRACE_MS,
   );
-  const isUnread = runs.length === 0 && call.endedAt - call.sentAt <= LOSS_SLACK_MS;
-  if (ending === undefined || isUnread) return [];
-  if (!isCalm(disturbances, call.sentAt, call.endedAt)) return [];
-  const detail = `${call.kind} ${call.id} was cut ${Math.round(call.endedAt - ending.at).toString()} ms after the order to end`;
+  const isUnread = runs.length === 0 && call.endedAt - call.sentAt <= UNREAD_CLOSE_MS;
+  if (termination === undefined || isUnread) return [];
+  if (!isUndisrupted(disruptions, call.sentAt, call.endedAt)) return [];
+  const detail = `${call.kind} ${call.id} was cut ${Math.round(call.endedAt - termination.at).toString()} ms after the order to end`;
   return [{ promise: 'drain-loses-nothing', detail }];
 };
 
-const collectRuns = (runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> => {
-  const groups = new Map<string, RunRecord[]>();
+const collectRunsByRequest = (
+  runs: readonly RunRecord[],
+): ReadonlyMap<string, readonly RunRecord[]> => {
+  const runsByRequest = new Map<string, RunRecord[]>();
   for (const run of runs) {
-    const group = groups.get(run.requestId) ?? [];
-    group.push(run);
-    groups.set(run.requestId, group);
+    const requestRuns = runsByRequest.get(run.requestId) ?? [];
+    requestRuns.push(run);
+    runsByRequest.set(run.requestId, requestRuns);
   }
-  return groups;
+  return runsByRequest;
 };
 
 /**
  * Checks what callers and workers saw against the promises of the pages.
  *
- * @param seen - observations of a whole soak
+ * @param observations - observations of a whole soak
  * @param answers - what workers answer
  * @returns the promises that were broken
  */
-export const checkPromises = (seen: Observations, answers: ExpectedAnswers): readonly Finding[] => {
-  const groups = collectRuns(seen.runs);
-  const asked = new Set(seen.calls.map(({ id }) => id));
-  const unasked = [...groups.keys()]
-    .filter((id) => !asked.has(id))
+export const checkPromises = (
+  observations: Observations,
+  answers: ExpectedAnswers,
+): readonly Finding[] => {
+  const runsByRequest = collectRunsByRequest(observations.runs);
+  const sentIds = new Set(observations.calls.map(({ id }) => id));
+  const unsentFindings = [...runsByRequest.keys()]
+    .filter((id) => !sentIds.has(id))
     .map((id): Finding => ({ promise: 'unasked-run', detail: `${id} was never sent` }));
-  const broken = seen.calls.flatMap((call) => {
-    const runs = groups.get(call.id) ?? [];
+  const callFindings = observations.calls.flatMap((call) => {
+    const runs = runsByRequest.get(call.id) ?? [];
     return [
-      ...checkOnce(call, runs),
+      ...checkStarts(call, runs),
       ...checkRefusal(call, runs),
-      ...(call.end.kind === 'answered' ? checkAnswer(call, call.end, answers) : []),
+      ...(call.outcome.kind === 'answered' ? checkAnswer(call, call.outcome, answers) : []),
       ...(isStream(call.kind) ? checkEvents(call, answers) : []),
       ...checkCustomer(call, runs),
-      ...checkChanges(call, runs, seen),
-      ...checkDrain(call, runs, seen),
+      ...checkChanges(call, runs, observations),
+      ...checkDrain(call, runs, observations),
     ];
   });
-  return [...unasked, ...broken];
+  return [...unsentFindings, ...callFindings];
 };
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { GRACE_MS } from './constants.js';
-import type { GatewayPlace, SoakPlatform } from './soakPlatform.js';
+import type { GatewaySpec, SoakPlatform } from './soakPlatform.js';
 import type { Finding, Termination } from './types.js';
 import type { Clock } from '../core/clock.js';
 
@@ -12,10 +12,10 @@
 const KILL_MARGIN_MS = 1_000;
 
 /** Time after an order to end in which the balancer still sends new connections. */
-const ROTATION_MS = 2_000;
+const ROTATION_DELAY_MS = 2_000;
 
 /** Interval at which a process is looked at that is to be steady. */
-const STEADY_CHECK_MS = 50;
+const RUNNING_POLL_MS = 50;
 
 /** One gateway that is started again after each end. */
 export interface GatewayProcess {
@@ -24,7 +24,7 @@
   /** Whether the balancer sends new connections: not to one that was ordered to end a while ago. */
   readonly isInRotation: () => boolean;
   /** Resolves when the process runs and has no order to end. */
-  readonly waitUntilSteady: () => Promise<void>;
+  readonly waitUntilRunning: () => Promise<void>;
   readonly start: () => void;
   readonly kill: () => void;
   readonly pause: () => void;
@@ -38,7 +38,7 @@
 export interface GatewayProcessOptions {
   readonly index: number;
   readonly platform: SoakPlatform;
-  readonly place: GatewayPlace;
+  readonly spec: GatewaySpec;
   /** Directory of the settings files and logs. */
   readonly directory: string;
   readonly clock: Clock;
@@ -55,19 +55,19 @@
  * @returns the control; the process is not yet started
  */
 export const createGatewayProcess = (options: GatewayProcessOptions): GatewayProcess => {
-  const { clock, directory, index, place, platform } = options;
-  const settingsPath = join(directory, `${place.name}.jsonc`);
-  const log = createWriteStream(join(directory, `${place.name}.log`), { flags: 'a' });
+  const { clock, directory, index, spec: spec, platform } = options;
+  const settingsPath = join(directory, `${spec.name}.jsonc`);
+  const log = createWriteStream(join(directory, `${spec.name}.log`), { flags: 'a' });
   let child: ChildProcess | null = null;
   let phase: Phase = 'stopped';
   let incarnation = 0;
-  let orderedAt = 0;
+  let terminatedAt = 0;
 
   const handleExit = (code: number | null, signal: string | null): void => {
     const isExpected = phase === 'ending' || phase === 'killed';
     if (!isExpected) {
-      const end = signal ?? `code ${String(code)}`;
-      const detail = `${place.name} ended by itself with ${end}`;
+      const cause = signal ?? `code ${String(code)}`;
+      const detail = `${spec.name} ended by itself with ${cause}`;
       options.onFinding({ promise: 'process-stays', detail });
     }
     const isRestarted = phase === 'ending' || phase === 'running';
@@ -80,7 +80,7 @@
     if (child !== null) return;
     incarnation += 1;
     phase = 'running';
-    writeFileSync(settingsPath, platform.formatSettings(place));
+    writeFileSync(settingsPath, platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
       env: { ...process.env, [platform.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -91,31 +91,31 @@
     child = started;
   };
 
-  const watchEnd = (ordered: ChildProcess): void => {
+  const watchExit = (terminated: ChildProcess): void => {
     const timer = setTimeout(() => {
-      if (ordered.exitCode !== null || ordered.signalCode !== null) return;
-      const detail = `${place.name} is still there after its grace period`;
+      if (terminated.exitCode !== null || terminated.signalCode !== null) return;
+      const detail = `${spec.name} is still there after its grace period`;
       options.onFinding({ promise: 'process-ends', detail });
       phase = 'killed';
-      ordered.kill('SIGKILL');
+      terminated.kill('SIGKILL');
     }, GRACE_MS + KILL_MARGIN_MS);
-    ordered.once('exit', () => {
+    terminated.once('exit', () => {
       clearTimeout(timer);
     });
   };
 
   // A soak that ends early leaves no process behind.
-  const endWithSoak = (): void => {
+  const stopWithSoak = (): void => {
     child?.kill('SIGKILL');
   };
-  process.once('exit', endWithSoak);
+  process.once('exit', stopWithSoak);
 
   return {
     getIncarnation: () => incarnation,
     isInRotation: () =>
-      phase === 'running' || (phase === 'ending' && clock.now() - orderedAt < ROTATION_MS),
-    waitUntilSteady: async () => {
-      while (phase !== 'running') await sleep(STEADY_CHECK_MS);
+      phase === 'running' || (phase === 'ending' && clock.now() - terminatedAt < ROTATION_DELAY_MS),
+    waitUntilRunning: async () => {
+      while (phase !== 'running') await sleep(RUNNING_POLL_MS);
     },
     start,
     kill: () => {
@@ -132,20 +132,20 @@
     terminate: () => {
       if (child === null || phase !== 'running') return;
       phase = 'ending';
-      orderedAt = clock.now();
+      terminatedAt = clock.now();
       options.onTermination({ gateway: index, incarnation, at: clock.now() });
       child.kill('SIGTERM');
-      watchEnd(child);
+      watchExit(child);
     },
     reload: () => {
       if (child === null || phase !== 'running') return;
-      writeFileSync(settingsPath, `${platform.formatSettings(place)}\n`);
+      writeFileSync(settingsPath, `${platform.formatSettings(spec)}\n`);
       child.kill('SIGHUP');
     },
     end: () =>
       new Promise((resolve) => {
         log.end();
-        process.removeListener('exit', endWithSoak);
+        process.removeListener('exit', stopWithSoak);
         if (child === null) {
           resolve();
           return;
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -5,10 +5,10 @@
 import { request } from 'undici';
 import { startLinkProxy } from './linkProxy.js';
 
-const startAnswering = async (t: { teardown: (end: () => void) => void }) => {
-  let arrivals = 0;
+const startProxiedServer = async (t: { teardown: (end: () => void) => void }) => {
+  let requestCount = 0;
   const server = createServer((_, response) => {
-    arrivals += 1;
+    requestCount += 1;
     response.end('ok');
   });
   await new Promise<void>((resolve) => {
@@ -26,24 +26,24 @@
     const answer = await request(url, { headersTimeout: 400, reset: true });
     return answer.body.text();
   };
-  return { proxy, call, countArrivals: () => arrivals };
+  return { proxy, call, countRequests: () => requestCount };
 };
 
 // Guards against faults that a soak believes to inject and does not.
 test('each mode of a link does what it says', async (t) => {
-  const { call, countArrivals, proxy } = await startAnswering(t);
+  const { call, countRequests, proxy } = await startProxiedServer(t);
   t.is(await call(), 'ok');
   proxy.setMode('delay');
   t.is(await call(), 'ok');
   proxy.setMode('reset');
   await t.throwsAsync(call());
-  t.is(countArrivals(), 2);
+  t.is(countRequests(), 2);
   proxy.setMode('silence');
   await t.throwsAsync(call());
-  t.is(countArrivals(), 2);
+  t.is(countRequests(), 2);
   proxy.setMode('one-way');
   await t.throwsAsync(call());
-  t.is(countArrivals(), 3);
+  t.is(countRequests(), 3);
   proxy.setMode('pass');
   t.is(await call(), 'ok');
 });
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -21,7 +21,7 @@
 
 type Direction = 'request' | 'answer';
 
-const isHeld = (mode: LinkMode, direction: Direction): boolean => {
+const isDropped = (mode: LinkMode, direction: Direction): boolean => {
   switch (mode) {
     case 'pass':
     case 'delay':
@@ -40,72 +40,75 @@
  * Starts a proxy. Bytes that are held back while a link is silent are never delivered: the connection
  * stays open and silent, as after a partition whose sender gave up.
  *
- * @param first - where connections go at the start
+ * @param initialTarget - where connections go at the start
  * @param host - loopback address to listen on
  * @returns the running proxy
  */
-export const startLinkProxy = async (first: LinkAddress, host: string): Promise<LinkProxy> => {
-  let target = first;
+export const startLinkProxy = async (
+  initialTarget: LinkAddress,
+  host: string,
+): Promise<LinkProxy> => {
+  let target = initialTarget;
   let mode: LinkMode = 'pass';
-  const open = new Set<Socket>();
+  const openSockets = new Set<Socket>();
   /** Connections that lost bytes, and stay silent. */
-  const silent = new WeakSet<Socket>();
+  const silencedSockets = new WeakSet<Socket>();
 
-  const carry = (from: Socket, to: Socket, direction: Direction): void => {
+  const transfer = (from: Socket, to: Socket, direction: Direction): void => {
     // What comes after delayed bytes waits behind them, whatever the mode is by then.
-    let last: Promise<void> = Promise.resolve();
+    let lastDelivery: Promise<void> = Promise.resolve();
     const deliver = (action: () => void): void => {
-      const delayed = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
-      last = Promise.all([last, delayed]).then(action);
+      const delay = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
+      lastDelivery = Promise.all([lastDelivery, delay]).then(action);
     };
     from.on('data', (bytes: Buffer) => {
-      if (isHeld(mode, direction)) silent.add(from);
-      if (silent.has(from)) return;
+      if (isDropped(mode, direction)) silencedSockets.add(from);
+      if (silencedSockets.has(from)) return;
       deliver(() => {
         if (to.writable) to.write(bytes);
       });
     });
     from.on('end', () => {
-      if (!silent.has(from) && !isHeld(mode, direction)) deliver(() => to.end());
+      if (!silencedSockets.has(from) && !isDropped(mode, direction)) deliver(() => to.end());
     });
     // A reset is passed on by the end of the connection.
     from.on('error', () => undefined);
     from.on('close', (hadError) => {
-      open.delete(from);
-      const isSilent = silent.has(from) || isHeld(mode, direction);
+      openSockets.delete(from);
+      const isSilent = silencedSockets.has(from) || isDropped(mode, direction);
       if (hadError && !isSilent) deliver(() => to.resetAndDestroy());
     });
   };
 
-  const server = createServer({ allowHalfOpen: true, noDelay: true }, (caller) => {
+  const server = createServer({ allowHalfOpen: true, noDelay: true }, (incoming) => {
     if (mode === 'reset') {
-      caller.resetAndDestroy();
+      incoming.resetAndDestroy();
       return;
     }
-    const callee = connect({ ...target, allowHalfOpen: true, noDelay: true });
-    open.add(caller);
-    open.add(callee);
-    carry(caller, callee, 'request');
-    carry(callee, caller, 'answer');
+    const outgoing = connect({ ...target, allowHalfOpen: true, noDelay: true });
+    openSockets.add(incoming);
+    openSockets.add(outgoing);
+    transfer(incoming, outgoing, 'request');
+    transfer(outgoing, incoming, 'answer');
   });
   await new Promise<void>((resolve) => {
     server.listen(0, host, resolve);
   });
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+  const listenAddress = server.address();
+  const port = typeof listenAddress === 'object' && listenAddress !== null ? listenAddress.port : 0;
   return {
     address: { host, port },
     setMode: (next) => {
       mode = next;
       if (mode !== 'reset') return;
-      for (const socket of open) socket.resetAndDestroy();
+      for (const socket of openSockets) socket.resetAndDestroy();
     },
     setTarget: (next) => {
       target = next;
     },
     close: () => {
       server.close();
-      for (const socket of open) socket.destroy();
+      for (const socket of openSockets) socket.destroy();
     },
   };
 };
--- a/packages/soak/planSoak.ts
+++ b/packages/soak/planSoak.ts
@@ -1,13 +1,13 @@
 import {
-  DATA_CENTRES,
-  ENGINES,
+  DATA_CENTRE_COUNT,
+  ENGINE_COUNT,
   FAULT_GAP_MS,
-  GATEWAYS,
-  LEDGERS,
+  GATEWAY_COUNT,
+  LEDGER_COUNT,
   MAX_FAULT_MS,
   MIN_FAULT_MS,
 } from './constants.js';
-import type { LinkName, SoakFault, StoreTrouble, TimedFault } from './types.js';
+import type { LinkId, SoakFault, StoreFaultMode, TimedFault } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Millis } from '../core/clock.js';
 import type { RandomSource } from '../core/random.js';
@@ -16,7 +16,7 @@
 type FaultKind = SoakFault['kind'];
 
 /** Weights of the kinds of faults. */
-const WEIGHTS: Readonly<Record<FaultKind, number>> = {
+const FAULT_WEIGHTS: Readonly<Record<FaultKind, number>> = {
   kill: 2,
   pause: 2,
   terminate: 3,
@@ -32,7 +32,7 @@
 };
 
 const LINK_MODES = ['delay', 'reset', 'silence', 'one-way'] as const;
-const STORE_TROUBLES: readonly StoreTrouble[] = ['busy', 'silent', 'reset'];
+const STORE_FAULT_MODES: readonly StoreFaultMode[] = ['busy', 'silent', 'reset'];
 
 const pickIndex = (random: RandomSource, count: number): number =>
   Math.min(count - 1, Math.floor(random.next() * count));
@@ -44,42 +44,46 @@
   Math.round(MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS));
 
 const pickKind = (random: RandomSource): FaultKind => {
-  const kinds = Object.entries(WEIGHTS) as [FaultKind, number][];
+  const kinds = Object.entries(FAULT_WEIGHTS) as [FaultKind, number][];
   const total = kinds.reduce((sum, [, weight]) => sum + weight, 0);
-  let left = random.next() * total;
+  let remaining = random.next() * total;
   for (const [kind, weight] of kinds) {
-    left -= weight;
-    if (left < 0) return kind;
+    remaining -= weight;
+    if (remaining < 0) return kind;
   }
   return 'configure';
 };
 
-const pickLink = (random: RandomSource): LinkName =>
+const pickLink = (random: RandomSource): LinkId =>
   random.next() < 0.5
-    ? { kind: 'store', gateway: pickIndex(random, GATEWAYS) }
-    : { kind: 'worker', slot: pickIndex(random, ENGINES + LEDGERS) };
+    ? { kind: 'store', gateway: pickIndex(random, GATEWAY_COUNT) }
+    : { kind: 'worker', slot: pickIndex(random, ENGINE_COUNT + LEDGER_COUNT) };
 
 const buildFault = (kind: FaultKind, random: RandomSource): SoakFault => {
-  const gateway = pickIndex(random, GATEWAYS);
-  const slot = pickIndex(random, ENGINES + LEDGERS);
-  const forMs = pickDuration(random);
+  const gateway = pickIndex(random, GATEWAY_COUNT);
+  const slot = pickIndex(random, ENGINE_COUNT + LEDGER_COUNT);
+  const durationMs = pickDuration(random);
   switch (kind) {
     case 'kill':
     case 'pause':
-      return { kind, gateway, forMs };
+      return { kind, gateway, durationMs };
     case 'terminate':
     case 'reload':
       return { kind, gateway };
     case 'link':
-      return { kind, link: pickLink(random), mode: pickOne(random, LINK_MODES), forMs };
+      return { kind, link: pickLink(random), mode: pickOne(random, LINK_MODES), durationMs };
     case 'store':
-      return { kind, trouble: pickOne(random, STORE_TROUBLES as [StoreTrouble]), forMs };
+      return { kind, mode: pickOne(random, STORE_FAULT_MODES as [StoreFaultMode]), durationMs };
     case 'worker-crash':
-      return { kind, slot, forMs };
+      return { kind, slot, durationMs };
     case 'worker-leave':
-      return { kind, slot, notice: random.next() < 0.5 ? 'told' : 'untold', forMs };
+      return { kind, slot, notice: random.next() < 0.5 ? 'told' : 'untold', durationMs };
     case 'data-centre-out':
-      return { kind, dataCentre: pickIndex(random, DATA_CENTRES), forMs: forMs + MAX_FAULT_MS };
+      return {
+        kind,
+        dataCentre: pickIndex(random, DATA_CENTRE_COUNT),
+        durationMs: durationMs + MAX_FAULT_MS,
+      };
     case 'forget-history':
     case 'configure':
     case 'revoke-key':
@@ -90,7 +94,7 @@
 };
 
 /** Factors of the mean pause; bounds of time are only checked where faults are rare. */
-const PACES = [1, 3, 6] as const;
+const GAP_FACTORS = [1, 3, 6] as const;
 
 /**
  * Plans the faults of a soak. They come in series and overlap.
@@ -102,13 +106,13 @@
 export const planSoak = (seed: number, durationMs: Millis): readonly TimedFault[] => {
   const random = createSeededSource(seed, 'faults');
   const faults: TimedFault[] = [];
-  const gapMs = FAULT_GAP_MS * pickOne(random, PACES);
+  const gapMs = FAULT_GAP_MS * pickOne(random, GAP_FACTORS);
   let at = FAULT_GAP_MS;
   while (at < durationMs) {
     faults.push({ at, fault: buildFault(pickKind(random), random) });
     // A third of the faults follow the one before at once.
-    const isSeries = random.next() < 0.33;
-    at += Math.round(isSeries ? random.next() * 60 : random.next() * 2 * gapMs);
+    const isBurst = random.next() < 0.33;
+    at += Math.round(isBurst ? random.next() * 60 : random.next() * 2 * gapMs);
   }
   return faults;
 };
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -3,15 +3,15 @@
 import { createCaller } from './caller.js';
 import { checkPromises } from './checkPromises.js';
 import {
-  CALLERS,
-  CALL_PATIENCE_MS,
-  ENGINES,
-  GATEWAYS,
-  LEDGERS,
-  RECOVERED_MS,
-  RECOVERED_SHARE,
+  CALLER_COUNT,
+  CALL_TIMEOUT_MS,
+  ENGINE_COUNT,
+  GATEWAY_COUNT,
+  LEDGER_COUNT,
+  RECOVERY_DEADLINE_MS,
+  MIN_SERVED_SHARE,
   RECOVERY_MS,
-  STREAM_PATIENCE_MS,
+  STREAM_TIMEOUT_MS,
 } from './constants.js';
 import { createGatewayProcess } from './gatewayProcess.js';
 import type { GatewayProcess } from './gatewayProcess.js';
@@ -22,9 +22,9 @@
 import type {
   CallKind,
   CallRecord,
-  Disturbance,
+  Disruption,
   Finding,
-  LinkName,
+  LinkId,
   PublishedChange,
   SoakFault,
   Termination,
@@ -56,13 +56,13 @@
 const STATUS_OK = 200;
 
 /** Time for the first start of all processes. */
-const START_MS = 1_500;
+const STARTUP_MS = 1_500;
 
 /** Pause of a caller between two requests. */
 const CALL_PAUSE_MS = 15;
 
 /** Time for which a worker that leaves serves on. */
-const LEAVE_SERVES_MS = 2_600;
+const WORKER_DRAIN_MS = 2_600;
 
 /** Kinds of requests, each as often as it is named. */
 const CALL_KINDS: readonly CallKind[] = ['once', 'once', 'idempotent', 'generation', 'resumable'];
@@ -79,13 +79,13 @@
   readonly calls: CallRecord[];
   readonly changes: PublishedChange[];
   readonly terminations: Termination[];
-  readonly disturbances: Disturbance[];
+  readonly disruptions: Disruption[];
   readonly findings: Finding[];
   readonly startedAt: Millis;
   phase: 'running' | 'over';
 }
 
-const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkName): LinkProxy | undefined => {
+const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkId): LinkProxy | undefined => {
   switch (link.kind) {
     case 'store':
       return storeLinks[link.gateway];
@@ -107,30 +107,30 @@
 
 const drainSlot = async (
   soak: Soak,
-  { forMs, notice, slot }: Extract<SoakFault, { kind: 'worker-leave' }>,
+  { durationMs, notice, slot }: Extract<SoakFault, { kind: 'worker-leave' }>,
 ): Promise<void> => {
   const worker = soak.workers[slot] ?? null;
   if (worker === null) return;
   soak.workers[slot] = null;
   worker.leave(notice);
   soak.changes.push({ kind: 'worker-leaving', workerId: worker.id, at: soak.clock.now() });
-  await wait(LEAVE_SERVES_MS);
+  await wait(WORKER_DRAIN_MS);
   worker.close();
-  await wait(forMs);
+  await wait(durationMs);
   await startSlot(soak, slot);
 };
 
-const failSlot = async (soak: Soak, slot: number, forMs: Millis): Promise<void> => {
+const failSlot = async (soak: Soak, slot: number, durationMs: Millis): Promise<void> => {
   const worker = soak.workers[slot] ?? null;
   if (worker === null) return;
   soak.workers[slot] = null;
   worker.crash();
-  await wait(forMs);
+  await wait(durationMs);
   await startSlot(soak, slot);
 };
 
 /** Times in which the bounds of time do not hold are those of faults, not of planned changes. */
-const isDisturbing = ({ kind }: SoakFault): boolean => {
+const isDisruptive = ({ kind }: SoakFault): boolean => {
   switch (kind) {
     case 'kill':
     case 'pause':
@@ -151,17 +151,21 @@
   }
 };
 
-const takeDataCentreOut = async (soak: Soak, dataCentre: number, forMs: Millis): Promise<void> => {
-  const name = soak.platform.setDataCentre(dataCentre, 'out');
+const takeDataCentreOut = async (
+  soak: Soak,
+  dataCentre: number,
+  durationMs: Millis,
+): Promise<void> => {
+  const name = soak.platform.setDataCentreState(dataCentre, 'out');
   const at = soak.clock.now();
-  await wait(forMs);
+  await wait(durationMs);
   soak.changes.push({
     kind: 'data-centre-out',
     dataCentre: name,
     at,
     until: soak.clock.now(),
   });
-  soak.platform.setDataCentre(dataCentre, 'in');
+  soak.platform.setDataCentreState(dataCentre, 'in');
 };
 
 const performFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
@@ -169,12 +173,12 @@
   switch (fault.kind) {
     case 'kill':
       gateways[fault.gateway]?.kill();
-      await wait(fault.forMs);
+      await wait(fault.durationMs);
       gateways[fault.gateway]?.start();
       return;
     case 'pause':
       gateways[fault.gateway]?.pause();
-      await wait(fault.forMs);
+      await wait(fault.durationMs);
       gateways[fault.gateway]?.resume();
       return;
     case 'terminate':
@@ -186,26 +190,26 @@
     case 'link': {
       const link = findLink(soak, fault.link);
       link?.setMode(fault.mode);
-      await wait(fault.forMs);
+      await wait(fault.durationMs);
       link?.setMode('pass');
       return;
     }
     case 'store':
-      platform.setStoreTrouble(fault.trouble);
-      await wait(fault.forMs);
-      platform.setStoreTrouble('none');
+      platform.setStoreFault(fault.mode);
+      await wait(fault.durationMs);
+      platform.setStoreFault('none');
       return;
     case 'forget-history':
-      platform.forgetHistory();
+      platform.compactStore();
       return;
     case 'worker-crash':
-      await failSlot(soak, fault.slot, fault.forMs);
+      await failSlot(soak, fault.slot, fault.durationMs);
       return;
     case 'worker-leave':
       await drainSlot(soak, fault);
       return;
     case 'configure':
-      platform.configure();
+      platform.publishConfiguration();
       return;
     case 'revoke-key': {
       const key = platform.revokeKey();
@@ -213,7 +217,7 @@
       return;
     }
     case 'data-centre-out':
-      await takeDataCentreOut(soak, fault.dataCentre, fault.forMs);
+      await takeDataCentreOut(soak, fault.dataCentre, fault.durationMs);
       return;
     default:
       assertNever(fault);
@@ -223,20 +227,20 @@
 const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
   const from = soak.clock.now();
   // The end of a fault that lasts is not known yet.
-  const disturbance = { from, until: Infinity };
-  if (isDisturbing(fault)) soak.disturbances.push(disturbance);
+  const disruption = { from, until: Infinity };
+  if (isDisruptive(fault)) soak.disruptions.push(disruption);
   await performFault(soak, fault);
-  disturbance.until = soak.clock.now();
+  disruption.until = soak.clock.now();
 };
 
-const getPatience = (kind: CallKind): Millis => {
+const getTimeout = (kind: CallKind): Millis => {
   switch (kind) {
     case 'once':
     case 'idempotent':
-      return CALL_PATIENCE_MS;
+      return CALL_TIMEOUT_MS;
     case 'generation':
     case 'resumable':
-      return STREAM_PATIENCE_MS;
+      return STREAM_TIMEOUT_MS;
     default:
       return assertNever(kind);
   }
@@ -244,32 +248,43 @@
 
 /** Goes on to the next gateway in rotation, or to the next one where there is none. */
 const pickGateway = ({ gateways }: Soak, from: number): number => {
-  const order = gateways.map((_, step) => (from + 1 + step) % GATEWAYS);
-  return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAYS;
+  const order = gateways.map((_, step) => (from + 1 + step) % GATEWAY_COUNT);
+  return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAY_COUNT;
 };
 
 /** Sends requests until the soak is over; a caller whose gateway failed goes to the next one. */
 const runCaller = async (soak: Soak, index: number, random: RandomSource): Promise<void> => {
   const { clock, gateways, hosts, platform } = soak;
   const caller = createCaller(platform);
-  let gateway = index % GATEWAYS;
-  for (let number = 0; soak.phase === 'running'; number += 1) {
+  let gateway = index % GATEWAY_COUNT;
+  for (let sequence = 0; soak.phase === 'running'; sequence += 1) {
     const keys = platform.listKeys();
-    const held = keys[index % keys.length];
-    if (held === undefined) break;
+    const callerKey = keys[index % keys.length];
+    if (callerKey === undefined) break;
     const kind = CALL_KINDS[Math.floor(random.next() * CALL_KINDS.length)] ?? 'once';
-    const id = `c${index.toString()}-${number.toString()}`;
+    const id = `c${index.toString()}-${sequence.toString()}`;
     const body = `body of ${id}`;
-    const patienceMs = getPatience(kind);
+    const timeoutMs = getTimeout(kind);
     const incarnation = gateways[gateway]?.getIncarnation() ?? 0;
     const sentAt = clock.now();
-    const to = { host: hosts[gateway] ?? '', port: platform.callerPort };
-    const wire = platform.buildCall({ id, kind, key: held.key, patienceMs });
-    const end = await caller.call(to, wire, body, patienceMs);
-    const { customer, key } = held;
+    const target = { host: hosts[gateway] ?? '', port: platform.callerPort };
+    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs: timeoutMs });
+    const outcome = await caller.call(target, wireCall, body, timeoutMs);
+    const { customer, key } = callerKey;
     const endedAt = clock.now();
-    soak.calls.push({ id, kind, gateway, incarnation, key, customer, body, sentAt, endedAt, end });
-    const isServed = end.kind === 'answered' && end.status === STATUS_OK;
+    soak.calls.push({
+      id,
+      kind,
+      gateway,
+      incarnation,
+      key,
+      customer,
+      body,
+      sentAt,
+      endedAt,
+      outcome,
+    });
+    const isServed = outcome.kind === 'answered' && outcome.status === STATUS_OK;
     if (!isServed || gateways[gateway]?.isInRotation() !== true) {
       gateway = pickGateway(soak, gateway);
     }
@@ -279,14 +294,15 @@
 };
 
 const checkRecovery = ({ calls, clock }: Soak): readonly Finding[] => {
-  const since = clock.now() - (RECOVERY_MS - RECOVERED_MS);
-  const late = calls.filter(({ sentAt }) => sentAt >= since);
+  const since = clock.now() - (RECOVERY_MS - RECOVERY_DEADLINE_MS);
+  const recentCalls = calls.filter(({ sentAt }) => sentAt >= since);
   // Look-ups fail at workers by their nature; an answer of a worker counts as served.
-  const served = late.filter(
-    ({ end }) => end.kind === 'answered' && (end.mark !== null || end.status === STATUS_OK),
+  const served = recentCalls.filter(
+    ({ outcome }) =>
+      outcome.kind === 'answered' && (outcome.signature !== null || outcome.status === STATUS_OK),
   );
-  if (late.length > 0 && served.length >= late.length * RECOVERED_SHARE) return [];
-  const detail = `${served.length.toString()} of ${late.length.toString()} requests were served after the last fault`;
+  if (recentCalls.length > 0 && served.length >= recentCalls.length * MIN_SERVED_SHARE) return [];
+  const detail = `${served.length.toString()} of ${recentCalls.length.toString()} requests were served after the last fault`;
   return [{ promise: 'recovery', detail }];
 };
 
@@ -296,14 +312,16 @@
   const ownHost = `${network}.1`;
   const platform = await startPlatform(ownHost, clock);
   const hosts = Array.from(
-    { length: GATEWAYS },
+    { length: GATEWAY_COUNT },
     (_, index) => `${network}.${(index + 11).toString()}`,
   );
   const storeLinks = await Promise.all(
     hosts.map(() => startLinkProxy(platform.storeAddress, ownHost)),
   );
   const workerLinks = await Promise.all(
-    Array.from({ length: ENGINES + LEDGERS }, () => startLinkProxy(platform.storeAddress, ownHost)),
+    Array.from({ length: ENGINE_COUNT + LEDGER_COUNT }, () =>
+      startLinkProxy(platform.storeAddress, ownHost),
+    ),
   );
   const findings: Finding[] = [];
   const terminations: Termination[] = [];
@@ -311,7 +329,7 @@
     createGatewayProcess({
       index,
       platform,
-      place: {
+      spec: {
         name: `gateway-${index.toString()}`,
         host,
         dataCentre: `dc-${index.toString()}`,
@@ -339,7 +357,7 @@
     calls: [],
     changes: [],
     terminations,
-    disturbances: [],
+    disruptions: [],
     findings,
     startedAt: clock.now(),
     phase: 'running',
@@ -366,8 +384,8 @@
   const soak = await buildSoak(options);
   await Promise.all(soak.workerLinks.map((_, slot) => startSlot(soak, slot)));
   for (const gateway of soak.gateways) gateway.start();
-  await wait(START_MS);
-  const callers = Array.from({ length: CALLERS }, (_, index) =>
+  await wait(STARTUP_MS);
+  const callers = Array.from({ length: CALLER_COUNT }, (_, index) =>
     runCaller(soak, index, createSeededSource(seed, `caller ${index.toString()}`)),
   );
   const plan = planSoak(seed, durationMs);
@@ -377,19 +395,20 @@
   });
   await Promise.all(faults);
   // Orders to end that came last are still being followed.
-  await Promise.all(soak.gateways.map((gateway) => gateway.waitUntilSteady()));
+  await Promise.all(soak.gateways.map((gateway) => gateway.waitUntilRunning()));
   await wait(RECOVERY_MS);
-  const recovery = checkRecovery(soak);
+  const recoveryFindings = checkRecovery(soak);
   soak.phase = 'over';
   await Promise.all(callers);
   await closeSoak(soak);
-  const seen = { ...soak, runs: soak.platform.listRuns() };
-  const broken = checkPromises(seen, soak.platform.answers);
+  const observations = { ...soak, runs: soak.platform.listRuns() };
+  const promiseFindings = checkPromises(observations, soak.platform.answers);
   return {
-    findings: [...soak.findings, ...recovery, ...broken],
+    findings: [...soak.findings, ...recoveryFindings, ...promiseFindings],
     faults: plan.length,
     calls: soak.calls.length,
-    served: soak.calls.filter(({ end }) => end.kind === 'answered' && end.status === STATUS_OK)
-      .length,
+    served: soak.calls.filter(
+      ({ outcome }) => outcome.kind === 'answered' && outcome.status === STATUS_OK,
+    ).length,
   };
 };
--- a/packages/soak/soakPlatform.ts
+++ b/packages/soak/soakPlatform.ts
@@ -1,6 +1,6 @@
 import type { ExpectedAnswers } from './checkPromises.js';
 import type { LinkAddress } from './linkProxy.js';
-import type { CallKind, RunRecord, StoreTrouble } from './types.js';
+import type { CallKind, RunRecord, StoreFaultMode } from './types.js';
 import type { Clock, Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId } from '../core/ids.js';
 
@@ -12,11 +12,11 @@
 }
 
 /** A call of a caller. */
-export interface CallOrder {
+export interface CallSpec {
   readonly id: string;
   readonly kind: CallKind;
   readonly key: string;
-  readonly patienceMs: Millis;
+  readonly timeoutMs: Millis;
 }
 
 /** A worker that serves one slot. */
@@ -36,7 +36,7 @@
 }
 
 /** Where one gateway process listens and what it reaches. */
-export interface GatewayPlace {
+export interface GatewaySpec {
   readonly name: string;
   readonly host: string;
   readonly dataCentre: DataCentreId;
@@ -59,19 +59,19 @@
   readonly settingsVariable: string;
   readonly callerPort: number;
   readonly storeAddress: LinkAddress;
-  readonly formatSettings: (place: GatewayPlace) => string;
-  readonly setStoreTrouble: (trouble: StoreTrouble | 'none') => void;
-  readonly forgetHistory: () => void;
+  readonly formatSettings: (spec: GatewaySpec) => string;
+  readonly setStoreFault: (mode: StoreFaultMode | 'none') => void;
+  readonly compactStore: () => void;
   /** Publishes a new version of the configuration. */
-  readonly configure: () => void;
+  readonly publishConfiguration: () => void;
   readonly listKeys: () => readonly CallerKey[];
   /** Takes a key away; null when only one is left. */
   readonly revokeKey: () => string | null;
-  readonly setDataCentre: (dataCentre: number, state: 'out' | 'in') => DataCentreId;
+  readonly setDataCentreState: (dataCentre: number, state: 'out' | 'in') => DataCentreId;
   readonly startWorker: (slot: number) => Promise<SoakWorker>;
-  readonly buildCall: (order: CallOrder) => WireCall;
+  readonly buildCall: (spec: CallSpec) => WireCall;
   /** Reads the worker's mark on an answer. */
-  readonly readMark: (headers: Readonly<Record<string, unknown>>) => string | null;
+  readonly readSignature: (headers: Readonly<Record<string, unknown>>) => string | null;
   readonly listRuns: () => readonly RunRecord[];
   readonly close: () => void;
 }
--- a/packages/soak/types.ts
+++ b/packages/soak/types.ts
@@ -13,37 +13,37 @@
   | 'one-way';
 
 /** How the store treats calls. */
-export type StoreTrouble = 'busy' | 'silent' | 'reset';
+export type StoreFaultMode = 'busy' | 'silent' | 'reset';
 
 /** Link between a gateway and the store, or between the gateways and a worker slot. */
-export type LinkName =
+export type LinkId =
   | { readonly kind: 'store'; readonly gateway: number }
   | { readonly kind: 'worker'; readonly slot: number };
 
 /** One fault or planned change; slots and gateways are numbered from 0. */
 export type SoakFault =
-  | { readonly kind: 'kill'; readonly gateway: number; readonly forMs: Millis }
-  | { readonly kind: 'pause'; readonly gateway: number; readonly forMs: Millis }
+  | { readonly kind: 'kill'; readonly gateway: number; readonly durationMs: Millis }
+  | { readonly kind: 'pause'; readonly gateway: number; readonly durationMs: Millis }
   | { readonly kind: 'terminate'; readonly gateway: number }
   | { readonly kind: 'reload'; readonly gateway: number }
   | {
       readonly kind: 'link';
-      readonly link: LinkName;
+      readonly link: LinkId;
       readonly mode: Exclude<LinkMode, 'pass'>;
-      readonly forMs: Millis;
+      readonly durationMs: Millis;
     }
-  | { readonly kind: 'store'; readonly trouble: StoreTrouble; readonly forMs: Millis }
+  | { readonly kind: 'store'; readonly mode: StoreFaultMode; readonly durationMs: Millis }
   | { readonly kind: 'forget-history' }
-  | { readonly kind: 'worker-crash'; readonly slot: number; readonly forMs: Millis }
+  | { readonly kind: 'worker-crash'; readonly slot: number; readonly durationMs: Millis }
   | {
       readonly kind: 'worker-leave';
       readonly slot: number;
       readonly notice: 'told' | 'untold';
-      readonly forMs: Millis;
+      readonly durationMs: Millis;
     }
   | { readonly kind: 'configure' }
   | { readonly kind: 'revoke-key' }
-  | { readonly kind: 'data-centre-out'; readonly dataCentre: number; readonly forMs: Millis };
+  | { readonly kind: 'data-centre-out'; readonly dataCentre: number; readonly durationMs: Millis };
 
 /** A fault with its instant from the start of the traffic. */
 export interface TimedFault {
@@ -55,12 +55,12 @@
 export type CallKind = 'once' | 'idempotent' | 'generation' | 'resumable';
 
 /** How a request ended for its caller. */
-export type CallEnd =
+export type CallOutcome =
   | {
       readonly kind: 'answered';
       readonly status: number;
       /** Worker's mark on its answer; null when the answer is the system's own. */
-      readonly mark: string | null;
+      readonly signature: string | null;
       readonly body: string;
       /** Ids of the events of a stream. */
       readonly eventIds: readonly number[];
@@ -83,7 +83,7 @@
   readonly body: string;
   readonly sentAt: Millis;
   readonly endedAt: Millis;
-  readonly end: CallEnd;
+  readonly outcome: CallOutcome;
 }
 
 /** One run as a worker saw it. */
@@ -100,7 +100,7 @@
 }
 
 /** A time in which something outside the gateways was disturbed, or a gateway itself. */
-export interface Disturbance {
+export interface Disruption {
   readonly from: Millis;
   readonly until: Millis;
 }
@@ -148,5 +148,5 @@
   readonly runs: readonly RunRecord[];
   readonly changes: readonly PublishedChange[];
   readonly terminations: readonly Termination[];
-  readonly disturbances: readonly Disturbance[];
+  readonly disruptions: readonly Disruption[];
 }
