Reword the titles and comments of the soak's tests

Titles such as 'breaks nothing', 'in calm times only' and 'does what it says' name now the finding, the time limits and the effect of a link mode. Each test says which failure it guards against. What the tests check is unchanged.

--- a/packages/soak/checkPromises.test.ts
+++ b/packages/soak/checkPromises.test.ts
@@ -63,13 +63,14 @@
     },
   }) as const;
 
-test('a request that was served once breaks nothing', (t) => {
+// Guards against a check that reports a violation for correct behaviour.
+test('a request that was served once yields no finding', (t) => {
   t.deepEqual(check({}), []);
   t.deepEqual(check({ calls: [STREAM] }), []);
 });
 
-// Guards against a check that cannot fail: each observation below breaks one promise.
-test('each broken promise is found', (t) => {
+// Guards against a check that can never fail: each observation below violates one promise.
+test('each violated promise is reported', (t) => {
   t.deepEqual(check({ runs: [RUN, { ...RUN, workerId: 'w-2' }] }), ['at-most-once']);
   t.deepEqual(check({ calls: [buildAnswered({ status: 503, signature: null })] }), [
     'true-refusal',
@@ -83,7 +84,8 @@
   t.deepEqual(check({ calls: [] }), ['unasked-run']);
 });
 
-test('events that are lost, doubled or end too early are found', (t) => {
+// Guards against a check of streams that accepts gaps, duplicates or an early end.
+test('lost, duplicate and missing last events are reported', (t) => {
   for (const eventIds of [
     [1, 3],
     [1, 1, 2, 3],
@@ -92,12 +94,13 @@
     const outcome = { ...STREAM.outcome, eventIds } as CallRecord['outcome'];
     t.deepEqual(check({ calls: [{ ...STREAM, outcome }] }), ['events-in-order']);
   }
-  // A stream that was cut may end early.
+  // A stream whose connection was cut may end early.
   const cut: CallRecord = { ...STREAM, outcome: { kind: 'cut', eventIds: [1, 2] } };
   t.deepEqual(check({ calls: [cut] }), []);
 });
 
-test('bounds of time hold in calm times only', (t) => {
+// Guards against late effects that go unreported, and against limits that apply amid disruptions.
+test('time limits apply only without recent disruptions', (t) => {
   const leaving = { kind: 'worker-leaving', workerId: 'w-1', at: 47_000 } as const;
   const revoked = { kind: 'key-revoked', key: 'key-1', at: 47_000 } as const;
   const out = { kind: 'data-centre-out', dataCentre: 'dc-a', at: 44_000, until: 60_000 } as const;
@@ -108,7 +111,8 @@
   t.deepEqual(check({ changes: [leaving, revoked, out], disruptions }), []);
 });
 
-test('a request that a draining process cuts is found', (t) => {
+// Guards against a drain that cuts off requests which the gateway had already forwarded.
+test('a request that a draining process cuts off is reported', (t) => {
   const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
   const terminations = [{ gateway: 0, incarnation: 1, at: 49_000 }];
   t.deepEqual(check({ calls: [cut], terminations }), ['drain-loses-nothing']);
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -29,8 +29,8 @@
   return { proxy, call, countRequests: () => requestCount };
 };
 
-// Guards against faults that a soak believes to inject and does not.
-test('each mode of a link does what it says', async (t) => {
+// Guards against a soak whose link faults have no effect.
+test('each link mode has its effect on requests', async (t) => {
   const { call, countRequests, proxy } = await startProxiedServer(t);
   t.is(await call(), 'ok');
   proxy.setMode('delay');
@@ -48,7 +48,7 @@
   t.is(await call(), 'ok');
 });
 
-// Guards against bytes that overtake each other when a delay ends, as no connection lets them.
+// Guards against a proxy that reorders bytes when a delay ends, which TCP never does.
 test('bytes stay in order when a delay ends', async (t) => {
   const server = createTcpServer((socket) => {
     socket.write('a');
--- a/packages/soak/planSoak.test.ts
+++ b/packages/soak/planSoak.test.ts
@@ -1,14 +1,14 @@
 import test from 'ava';
 import { planSoak } from './planSoak.js';
 
-// Guards against seeds of regression cases that no longer give the same faults.
-test('a seed always gives the same plan', (t) => {
+// Guards against regression cases whose seeds no longer produce the faults that they were kept for.
+test('equal seeds produce equal plans', (t) => {
   t.deepEqual(planSoak(7, 20_000), planSoak(7, 20_000));
   t.notDeepEqual(planSoak(7, 20_000), planSoak(8, 20_000));
 });
 
-// Guards against a soak that leaves a kind of fault out.
-test('every kind of fault comes within some seeds', (t) => {
+// Guards against a kind of fault that no soak ever injects.
+test('twenty seeds cover every kind of fault', (t) => {
   const kinds = new Set(
     Array.from({ length: 20 }, (_, seed) => planSoak(seed, 20_000))
       .flat()
