Describe the faults, promises and limits of the soak

'Speaks', 'serves on', 'goes on' and 'bounds of time' are replaced by the encoding of requests, drains, resumption and time limits. The constants name their units, each fault says what it does to a process, and each promise says in one sentence what it covers.

--- a/packages/soak/constants.ts
+++ b/packages/soak/constants.ts
@@ -1,46 +1,49 @@
-/** Gateways, worker slots of each service and data centres of a soak. */
+/** Numbers of gateways, of worker slots of each service, and of data centres. */
 export const GATEWAY_COUNT = 3;
 export const ENGINE_COUNT = 3;
 export const LEDGER_COUNT = 3;
 export const DATA_CENTRE_COUNT = 3;
 
-/** Callers; each sends one request after the other on a connection that it keeps. */
+/** Number of callers. Each sends one request after the other on a keep-alive connection. */
 export const CALLER_COUNT = 12;
 
-/** Mean pause between two faults at the fastest pace. */
+/** Mean gap between two faults at the highest fault rate, in ms. */
 export const FAULT_GAP_MS = 500;
 
-/** Bounds of a fault's duration. */
+/** Bounds on the duration of a fault, in ms. */
 export const MIN_FAULT_MS = 200;
 export const MAX_FAULT_MS = 2_500;
 
-/** Time without faults at the end, in which the system has to serve again. */
+/** Duration of the fault-free phase at the end, in which the system has to recover, in ms. */
 export const RECOVERY_MS = 6_000;
 
-/** Part of the recovery after which requests have to be served. */
+/** Time from the start of that phase after which requests have to be served, in ms. */
 export const RECOVERY_DEADLINE_MS = 4_500;
 
-/** Share of the requests of that time that has to be served. */
+/** Smallest share of the requests after that deadline that has to be served. */
 export const MIN_SERVED_SHARE = 0.9;
 
-/** Time without a disturbance after which bounds of time hold. */
+/** Time without a disruption after which time limits apply again, in ms. */
 export const SETTLING_MS = 3_000;
 
-/** Time in which a leaving worker and a revoked key still count as before. */
+/** Time within which the drain of a worker or the revocation of a key takes effect, in ms. */
 export const PROPAGATION_MS = 2_000;
 
-/** The same for a data centre that was taken out. */
+/** Time within which the evacuation of a data centre takes effect, in ms. */
 export const EVACUATION_MS = 5_000;
 
-/** Time from the order to end until a gateway's process has to be gone. */
+/** Grace period: longest time from SIGTERM until the gateway process has exited, in ms. */
 export const GRACE_MS = 8_000;
 
-/** Time after a request's last byte in which a draining gateway may close its connection unread. */
+/**
+ * Time after the last byte of a request within which a draining gateway may close the connection
+ * without having read the request, in ms.
+ */
 export const UNREAD_CLOSE_MS = 200;
 
-/** Time that callers wait for whole answers and for streams. */
+/** Time for which callers wait for the complete answer of a plain call and of a stream, in ms. */
 export const CALL_TIMEOUT_MS = 1_000;
 export const STREAM_TIMEOUT_MS = 8_000;
 
-/** Delay of a slow link. */
+/** Delay that a slow link adds to each chunk of bytes, in ms. */
 export const LINK_DELAY_MS = 150;
--- a/packages/soak/planSoak.ts
+++ b/packages/soak/planSoak.ts
@@ -15,7 +15,7 @@
 
 type FaultKind = SoakFault['kind'];
 
-/** Weights of the kinds of faults. */
+/** Relative frequency of each kind of fault. */
 const FAULT_WEIGHTS: Readonly<Record<FaultKind, number>> = {
   kill: 2,
   pause: 2,
@@ -93,15 +93,18 @@
   }
 };
 
-/** Factors of the mean pause; bounds of time are only checked where faults are rare. */
+/**
+ * Factors of the mean gap, one of which applies to a whole plan. Time limits can only be checked
+ * between faults that are far apart.
+ */
 const GAP_FACTORS = [1, 3, 6] as const;
 
 /**
- * Plans the faults of a soak. They come in series and overlap.
+ * Plans the faults of a soak. Faults come in bursts and overlap.
  *
  * @param seed - seed of the whole plan
  * @param durationMs - time in which faults begin
- * @returns the faults in the order of their instants
+ * @returns the faults in the order of their start
  */
 export const planSoak = (seed: number, durationMs: Millis): readonly TimedFault[] => {
   const random = createSeededSource(seed, 'faults');
@@ -110,7 +113,7 @@
   let at = FAULT_GAP_MS;
   while (at < durationMs) {
     faults.push({ at, fault: buildFault(pickKind(random), random) });
-    // A third of the faults follow the one before at once.
+    // A third of the faults follow within 60 ms of the previous one.
     const isBurst = random.next() < 0.33;
     at += Math.round(isBurst ? random.next() * 60 : random.next() * 2 * gapMs);
   }
--- a/packages/soak/soakPlatform.ts
+++ b/packages/soak/soakPlatform.ts
@@ -4,14 +4,14 @@
 import type { Clock, Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId } from '../core/ids.js';
 
-/** A call as it goes over the wire. */
+/** Head of a request as sent over the wire. */
 export interface WireCall {
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
 }
 
-/** A call of a caller. */
+/** A request to be sent, independent of its encoding. */
 export interface CallSpec {
   readonly id: string;
   readonly kind: CallKind;
@@ -19,59 +19,63 @@
   readonly timeoutMs: Millis;
 }
 
-/** A worker that serves one slot. */
+/** Stand-in of a worker that occupies one slot. */
 export interface SoakWorker {
   readonly id: string;
   readonly dataCentre: DataCentreId;
-  /** Own address, behind the proxy of its slot. */
+  /** Address of the worker itself, which the slot's proxy forwards to. */
   readonly address: LinkAddress;
-  /** Registers with the address of the slot's proxy. */
+  /** Registers the worker under the address of the slot's proxy. */
   readonly register: (address: LinkAddress) => void;
-  /** Ends at once and says nothing; its entry lapses after a while. */
+  /** Stops at once without deregistering; the registration expires later. */
   readonly crash: () => void;
-  /** Begins to leave; it serves on for a while. */
+  /** Begins to drain; the worker serves until it is closed. */
   readonly leave: (notice: 'told' | 'untold') => void;
-  /** Ends after it has left. */
+  /** Stops the worker after its drain and removes its registration. */
   readonly close: () => void;
 }
 
-/** Where one gateway process listens and what it reaches. */
+/** Identity and addresses that the settings of one gateway process are generated from. */
 export interface GatewaySpec {
   readonly name: string;
   readonly host: string;
   readonly dataCentre: DataCentreId;
+  /** Hosts of the gateways that the process contacts first. */
   readonly seeds: readonly string[];
   readonly store: LinkAddress;
 }
 
-/** Key with its customer. */
+/** An API key and its customer. */
 export interface CallerKey {
   readonly key: string;
   readonly customer: CustomerId;
 }
 
-/** Stand-ins of a platform, and the words in which callers speak to a gateway there. */
+/** Stand-ins of a platform, and its encoding of requests and settings. */
 export interface SoakPlatform {
   readonly answers: ExpectedAnswers;
-  /** Arguments of the gateway's program, after the runtime. */
+  /** Arguments of the Node.js runtime that start the gateway. */
   readonly program: readonly string[];
-  /** Variable that holds the path of the settings file. */
+  /** Environment variable that holds the path of the settings file. */
   readonly settingsVariable: string;
   readonly callerPort: number;
   readonly storeAddress: LinkAddress;
   readonly formatSettings: (spec: GatewaySpec) => string;
   readonly setStoreFault: (mode: StoreFaultMode | 'none') => void;
+  /** Compacts the topics of the store, so that reads of old offsets fail. */
   readonly compactStore: () => void;
   /** Publishes a new version of the configuration. */
   readonly publishConfiguration: () => void;
   readonly listKeys: () => readonly CallerKey[];
-  /** Takes a key away; null when only one is left. */
+  /** Revokes an API key and returns it; returns null without an effect when only one is left. */
   readonly revokeKey: () => string | null;
+  /** Evacuates a data centre or ends its evacuation, and returns its name. */
   readonly setDataCentreState: (dataCentre: number, state: 'out' | 'in') => DataCentreId;
   readonly startWorker: (slot: number) => Promise<SoakWorker>;
   readonly buildCall: (spec: CallSpec) => WireCall;
-  /** Reads the worker's mark on an answer. */
+  /** Returns the worker's signature of an answer, or null when there is none. */
   readonly readSignature: (headers: Readonly<Record<string, unknown>>) => string | null;
+  /** Returns the executions that all workers recorded so far. */
   readonly listRuns: () => readonly RunRecord[];
   readonly close: () => void;
 }
--- a/packages/soak/types.ts
+++ b/packages/soak/types.ts
@@ -1,30 +1,39 @@
 import type { Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId } from '../core/ids.js';
 
-/** What a proxy does with the bytes of its connections. */
+/** How a proxy treats its connections and their bytes. */
 export type LinkMode =
+  /** Bytes pass unchanged. */
   | 'pass'
+  /** Bytes of both directions are delayed. */
   | 'delay'
-  /** Connections are reset, new ones too. */
+  /** Open and new connections are reset. */
   | 'reset'
-  /** Bytes of both directions are held back; connections stay open. */
+  /** Bytes of both directions are dropped; connections stay open. */
   | 'silence'
-  /** Requests pass, and answers are held back. */
+  /** Requests pass, and answers are dropped. */
   | 'one-way';
 
-/** How the store treats calls. */
+/** How a failing store treats requests: it refuses them, never answers or resets connections. */
 export type StoreFaultMode = 'busy' | 'silent' | 'reset';
 
-/** Link between a gateway and the store, or between the gateways and a worker slot. */
+/** Identifies the link of one gateway to the store, or of all gateways to one worker slot. */
 export type LinkId =
   | { readonly kind: 'store'; readonly gateway: number }
   | { readonly kind: 'worker'; readonly slot: number };
 
-/** One fault or planned change; slots and gateways are numbered from 0. */
+/**
+ * A fault or a planned change, injected from outside the gateways. Slots, gateways and data centres
+ * are numbered from 0. With a `durationMs` it is undone after that time.
+ */
 export type SoakFault =
+  /** SIGKILL; the gateway is started again after the duration. */
   | { readonly kind: 'kill'; readonly gateway: number; readonly durationMs: Millis }
+  /** SIGSTOP, and SIGCONT after the duration. */
   | { readonly kind: 'pause'; readonly gateway: number; readonly durationMs: Millis }
+  /** SIGTERM; the gateway drains, exits and is started again. */
   | { readonly kind: 'terminate'; readonly gateway: number }
+  /** Settings file rewritten with equivalent content, and SIGHUP. */
   | { readonly kind: 'reload'; readonly gateway: number }
   | {
       readonly kind: 'link';
@@ -33,50 +42,64 @@
       readonly durationMs: Millis;
     }
   | { readonly kind: 'store'; readonly mode: StoreFaultMode; readonly durationMs: Millis }
+  /** The store compacts its topics, so that reads of old offsets fail. */
   | { readonly kind: 'forget-history' }
   | { readonly kind: 'worker-crash'; readonly slot: number; readonly durationMs: Millis }
   | {
       readonly kind: 'worker-leave';
       readonly slot: number;
+      /**
+       * `told`: the registration shows that the worker drains. `untold`: the registration is
+       * removed.
+       */
       readonly notice: 'told' | 'untold';
       readonly durationMs: Millis;
     }
+  /** A new version of the configuration is published. */
   | { readonly kind: 'configure' }
   | { readonly kind: 'revoke-key' }
+  /** The data centre is evacuated. */
   | { readonly kind: 'data-centre-out'; readonly dataCentre: number; readonly durationMs: Millis };
 
-/** A fault with its instant from the start of the traffic. */
+/** A fault and when it begins. */
 export interface TimedFault {
+  /** Time from the start of the traffic. */
   readonly at: Millis;
   readonly fault: SoakFault;
 }
 
-/** Kinds of requests that callers send. */
+/**
+ * Kinds of requests that callers send. `once` and `idempotent` are plain calls, of which only the
+ * latter may run more than once. `generation` and `resumable` are streams, of which only the latter
+ * may be resumed after its last event.
+ */
 export type CallKind = 'once' | 'idempotent' | 'generation' | 'resumable';
 
 /** How a request ended for its caller. */
 export type CallOutcome =
+  /** The answer was complete. */
   | {
       readonly kind: 'answered';
       readonly status: number;
-      /** Worker's mark on its answer; null when the answer is the system's own. */
+      /** Signature of the worker on its answer; null for an answer of the gateway itself. */
       readonly signature: string | null;
       readonly body: string;
-      /** Ids of the events of a stream. */
+      /** Ids of the received events of a stream. */
       readonly eventIds: readonly number[];
     }
-  /** The connection ended before the answer did. */
+  /** The connection ended before the answer was complete. */
   | { readonly kind: 'cut'; readonly eventIds: readonly number[] }
-  /** Nobody took the request. */
+  /** No connection was established. */
   | { readonly kind: 'not-sent' }
+  /** The caller's timeout expired. */
   | { readonly kind: 'given-up' };
 
-/** One request as its caller saw it; instants are those of the soak's steady clock. */
+/** A request as recorded by its caller; instants are those of the soak's monotonic clock. */
 export interface CallRecord {
   readonly id: string;
   readonly kind: CallKind;
   readonly gateway: number;
-  /** Run of the gateway's process, from 1. */
+  /** Number of the gateway's process since the start of the soak, from 1. */
   readonly incarnation: number;
   readonly key: string;
   readonly customer: CustomerId;
@@ -86,45 +109,62 @@
   readonly outcome: CallOutcome;
 }
 
-/** One run as a worker saw it. */
+/** An execution of a request, as recorded by the worker. */
 export interface RunRecord {
   readonly requestId: string;
   readonly workerId: string;
   readonly dataCentre: DataCentreId;
   readonly at: Millis;
+  /** Customer that the gateway named to the worker; null when it named none. */
   readonly customer: string | null;
-  /** Whether the caller's key reached the worker. */
+  /** Whether the caller's API key was withheld from the worker or reached it. */
   readonly credential: 'kept-back' | 'leaked';
-  /** `continued`: it goes on from a copy of the same generation or from an event id. */
+  /**
+   * `begun`: executed from the beginning. `continued`: resumed from a copy of the same generation
+   * or after an event id. `foreign-copy`: resumed from a copy of another generation.
+   */
   readonly start: 'begun' | 'continued' | 'foreign-copy';
 }
 
-/** A time in which something outside the gateways was disturbed, or a gateway itself. */
+/** Interval in which a fault affected a gateway or something that the gateways depend on. */
 export interface Disruption {
   readonly from: Millis;
   readonly until: Millis;
 }
 
-/** A promise that was seen broken. */
+/** An observed violation of a promise that the gateways make. */
 export interface Finding {
   readonly promise:
+    /** A request that must not be repeated is started at most once. */
     | 'at-most-once'
+    /** A request that was refused as not run did not run. */
     | 'true-refusal'
+    /** Every answer belongs to the request of its caller. */
     | 'own-answer'
+    /** Stream events arrive in order and without gaps; a stream that ends normally is complete. */
     | 'events-in-order'
+    /** A request runs for the customer of its key, and the key is withheld from the worker. */
     | 'own-customer'
+    /** Workers run only requests that a caller sent. */
     | 'unasked-run'
+    /** No request starts at a draining worker. */
     | 'no-new-work-for-leaving'
+    /** No request starts in an evacuated data centre. */
     | 'no-new-work-in-data-centre-out'
+    /** No request with a revoked key runs. */
     | 'revoked-key'
+    /** A draining gateway completes the requests that it has read. */
     | 'drain-loses-nothing'
+    /** Requests are served again after the last fault. */
     | 'recovery'
+    /** A gateway process exits only when it is told to. */
     | 'process-stays'
+    /** A gateway process exits within the grace period after SIGTERM. */
     | 'process-ends';
   readonly detail: string;
 }
 
-/** A change whose effect has to be seen within a bound. */
+/** A change that has to take effect within a time limit. */
 export type PublishedChange =
   | { readonly kind: 'worker-leaving'; readonly workerId: string; readonly at: Millis }
   | { readonly kind: 'key-revoked'; readonly key: string; readonly at: Millis }
@@ -135,14 +175,14 @@
       readonly until: Millis;
     };
 
-/** An order to a gateway's process to end. */
+/** A SIGTERM that was sent to a gateway process. */
 export interface Termination {
   readonly gateway: number;
   readonly incarnation: number;
   readonly at: Millis;
 }
 
-/** Everything that a soak observed. */
+/** Everything that callers, workers and the soak itself recorded. */
 export interface Observations {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
