Reword the comments and findings of the soak

Findings said that a worker 'went on from another's memory', a caller 'got the mark' or a request was cut 'after the order to end'. They name now the copy of another request, the signature and SIGTERM. Comments speak of restarts, rotation, polling and suspended time limits.

--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -6,7 +6,7 @@
 import type { CallOutcome } from './types.js';
 import type { Millis } from '../core/clock.js';
 
-/** One caller with the connection that it keeps. */
+/** A caller with one keep-alive connection. */
 export interface Caller {
   readonly call: (
     target: LinkAddress,
@@ -33,7 +33,7 @@
       text += chunk;
       onChunk(chunk);
     });
-    // `complete` tells whether the answer was cut; the error says nothing beyond that.
+    // `complete` already tells whether the answer was cut off, so the error adds nothing.
     answer.on('error', () => undefined);
     answer.on('close', () => {
       resolve({ text, isComplete: answer.complete });
@@ -41,9 +41,9 @@
   });
 
 /**
- * Creates a caller that uses its open connection until the other side closes it.
+ * Creates a caller that reuses its connection until the gateway closes it.
  *
- * @param platform - reads the worker's mark
+ * @param platform - reads the worker's signature from the headers of an answer
  * @returns the caller
  */
 export const createCaller = (platform: SoakPlatform): Caller => {
--- a/packages/soak/checkPromises.ts
+++ b/packages/soak/checkPromises.ts
@@ -1,13 +1,13 @@
 import {
-  PROPAGATION_MS,
-  SETTLING_MS,
   EVACUATION_MS,
   GRACE_MS,
+  PROPAGATION_MS,
+  SETTLING_MS,
   UNREAD_CLOSE_MS,
 } from './constants.js';
 import type {
-  CallOutcome,
   CallKind,
+  CallOutcome,
   CallRecord,
   Disruption,
   Finding,
@@ -18,19 +18,20 @@
 import { assertNever } from '../core/assertNever.js';
 import type { Millis } from '../core/clock.js';
 
-/** What the workers of a soak answer. */
+/** Describes the answers that the workers of a soak send. */
 export interface ExpectedAnswers {
+  /** Number of events in a complete stream. */
   readonly eventCount: number;
-  /** Body of the answer to a plain call. */
+  /** Builds the expected body of the answer to a plain call. */
   readonly buildBody: (callBody: string) => string;
-  /** Whether a mark is that of an answer to the request. */
+  /** Reports whether a signature belongs to an answer to the request. */
   readonly isSignatureOf: (signature: string, requestId: string) => boolean;
 }
 
 const STATUS_OK = 200;
 const STATUS_REDIRECT = 300;
 
-/** Statuses that promise that the request did not run and never will. */
+/** Statuses which promise that the request did not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 const isStream = (kind: CallKind): boolean => kind === 'generation' || kind === 'resumable';
@@ -44,7 +45,7 @@
     outcome.signature === null &&
     NOT_RUN_STATUSES.has(outcome.status);
   if (!isRefused || runs.length === 0 || isRepeatable(kind)) return [];
-  const detail = `${kind} ${id} was refused with ${outcome.status.toString()} and ran`;
+  const detail = `${kind} ${id} was refused with ${outcome.status.toString()} but ran`;
   return [{ promise: 'true-refusal', detail }];
 };
 
@@ -54,10 +55,13 @@
   const findings: Finding[] = [];
   if (begun.length > 1 && !isRepeatable(kind)) {
     const workers = begun.map(({ workerId }) => workerId).join(', ');
-    findings.push({ promise: 'at-most-once', detail: `${kind} ${id} began at ${workers}` });
+    findings.push({ promise: 'at-most-once', detail: `${kind} ${id} was started by ${workers}` });
   }
   if (foreignCopies.length > 0) {
-    findings.push({ promise: 'own-answer', detail: `${id} went on from another’s memory` });
+    findings.push({
+      promise: 'own-answer',
+      detail: `${id} was resumed from the copy of another request`,
+    });
   }
   return findings;
 };
@@ -67,7 +71,7 @@
   if (outcome.kind !== 'answered' && outcome.kind !== 'cut') return [];
   const isOrdered = outcome.eventIds.every((eventId, index) => eventId === index + 1);
   if (!isOrdered) {
-    const detail = `${id} got the events ${outcome.eventIds.join(' ')}`;
+    const detail = `${id} received the events ${outcome.eventIds.join(' ')}`;
     return [{ promise: 'events-in-order', detail }];
   }
   const isComplete = outcome.eventIds.length === answers.eventCount;
@@ -83,16 +87,16 @@
   answers: ExpectedAnswers,
 ): readonly Finding[] => {
   if (outcome.signature !== null && !answers.isSignatureOf(outcome.signature, id)) {
-    return [{ promise: 'own-answer', detail: `${id} got the mark ${outcome.signature}` }];
+    return [{ promise: 'own-answer', detail: `${id} received the signature ${outcome.signature}` }];
   }
   const isSuccess = outcome.status >= STATUS_OK && outcome.status < STATUS_REDIRECT;
   if (!isSuccess) return [];
   if (outcome.signature === null) {
-    return [{ promise: 'own-answer', detail: `${id} got a success without a mark` }];
+    return [{ promise: 'own-answer', detail: `${id} received a success without a signature` }];
   }
   const isWrongBody = !isStream(kind) && outcome.body !== answers.buildBody(body);
   return isWrongBody
-    ? [{ promise: 'own-answer', detail: `${id} got the body ${outcome.body}` }]
+    ? [{ promise: 'own-answer', detail: `${id} received the body ${outcome.body}` }]
     : [];
 };
 
@@ -101,10 +105,13 @@
     .filter((run) => run.customer !== call.customer || run.credential === 'leaked')
     .map(({ customer, workerId }) => ({
       promise: 'own-customer',
-      detail: `${call.id} of ${call.customer} ran at ${workerId} for ${customer ?? 'nobody'}`,
+      detail: `${call.id} of ${call.customer} ran at ${workerId} for ${customer ?? 'no customer'}`,
     }));
 
-/** Whether nothing was disturbed for a time before and until an instant. */
+/**
+ * Reports whether no disruption overlaps the interval, and none ended less than the settling time
+ * before it.
+ */
 const isUndisrupted = (disruptions: readonly Disruption[], from: Millis, until: Millis): boolean =>
   disruptions.every((each) => each.until < from - SETTLING_MS || each.from > until);
 
@@ -155,7 +162,10 @@
       }),
   );
 
-/** A connection that a draining process closed without having read the request loses nothing. */
+/**
+ * Finds a request that a draining process cut off. A connection that was closed before the process
+ * read the request loses nothing.
+ */
 const checkDrain = (
   call: CallRecord,
   runs: readonly RunRecord[],
@@ -172,7 +182,7 @@
   const isUnread = runs.length === 0 && call.endedAt - call.sentAt <= UNREAD_CLOSE_MS;
   if (termination === undefined || isUnread) return [];
   if (!isUndisrupted(disruptions, call.sentAt, call.endedAt)) return [];
-  const detail = `${call.kind} ${call.id} was cut ${Math.round(call.endedAt - termination.at).toString()} ms after the order to end`;
+  const detail = `${call.kind} ${call.id} was cut ${Math.round(call.endedAt - termination.at).toString()} ms after SIGTERM`;
   return [{ promise: 'drain-loses-nothing', detail }];
 };
 
@@ -189,11 +199,11 @@
 };
 
 /**
- * Checks what callers and workers saw against the promises of the pages.
+ * Checks the records of callers and workers against the documented promises of the gateway.
  *
- * @param observations - observations of a whole soak
- * @param answers - what workers answer
- * @returns the promises that were broken
+ * @param observations - records of a whole soak
+ * @param answers - answers that the workers send
+ * @returns the violations that were found
  */
 export const checkPromises = (
   observations: Observations,
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -8,30 +8,35 @@
 import type { Finding, Termination } from './types.js';
 import type { Clock } from '../core/clock.js';
 
-/** Time beyond the grace period after which a process that was ordered to end is killed. */
+/** Time after the grace period until a process that has not exited is killed, in ms. */
 const KILL_MARGIN_MS = 1_000;
 
-/** Time after an order to end in which the balancer still sends new connections. */
+/** Time after SIGTERM for which the load balancer still sends new connections, in ms. */
 const ROTATION_DELAY_MS = 2_000;
 
-/** Interval at which a process is looked at that is to be steady. */
+/** Interval at which the phase of a process is polled, in ms. */
 const RUNNING_POLL_MS = 50;
 
-/** One gateway that is started again after each end. */
+/** A gateway process, restarted when it exits for any reason but a kill. */
 export interface GatewayProcess {
-  /** Run of the process, from 1. */
+  /** Returns the number of the current or last process, from 1; 0 before the first start. */
   readonly getIncarnation: () => number;
-  /** Whether the balancer sends new connections: not to one that was ordered to end a while ago. */
+  /**
+   * Reports whether the load balancer sends new connections to the process. It stops a while after
+   * SIGTERM.
+   */
   readonly isInRotation: () => boolean;
-  /** Resolves when the process runs and has no order to end. */
+  /** Resolves when the process is running and not terminating. */
   readonly waitUntilRunning: () => Promise<void>;
   readonly start: () => void;
   readonly kill: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Sends SIGTERM and reports a finding if the process has not exited after the grace period. */
   readonly terminate: () => void;
+  /** Rewrites the settings file and sends SIGHUP. */
   readonly reload: () => void;
-  /** Ends the process for good; resolves when it is gone. */
+  /** Kills the process without a restart; resolves when it has exited. */
   readonly end: () => Promise<void>;
 }
 
@@ -39,7 +44,7 @@
   readonly index: number;
   readonly platform: SoakPlatform;
   readonly spec: GatewaySpec;
-  /** Directory of the settings files and logs. */
+  /** Directory of the settings file and the log. */
   readonly directory: string;
   readonly clock: Clock;
   readonly onFinding: (finding: Finding) => void;
@@ -49,13 +54,13 @@
 type Phase = 'stopped' | 'running' | 'ending' | 'killed';
 
 /**
- * Creates the control of one gateway process. Only this process is ever signalled, by its id.
+ * Creates the controller of one gateway process. It signals only that process, by its id.
  *
- * @param options - place, stand-ins and receivers
- * @returns the control; the process is not yet started
+ * @param options - addresses, stand-ins and callbacks
+ * @returns the controller; the process is not started yet
  */
 export const createGatewayProcess = (options: GatewayProcessOptions): GatewayProcess => {
-  const { clock, directory, index, spec: spec, platform } = options;
+  const { clock, directory, index, spec, platform } = options;
   const settingsPath = join(directory, `${spec.name}.jsonc`);
   const log = createWriteStream(join(directory, `${spec.name}.log`), { flags: 'a' });
   let child: ChildProcess | null = null;
@@ -94,7 +99,7 @@
   const watchExit = (terminated: ChildProcess): void => {
     const timer = setTimeout(() => {
       if (terminated.exitCode !== null || terminated.signalCode !== null) return;
-      const detail = `${spec.name} is still there after its grace period`;
+      const detail = `${spec.name} is still running after its grace period`;
       options.onFinding({ promise: 'process-ends', detail });
       phase = 'killed';
       terminated.kill('SIGKILL');
@@ -104,7 +109,7 @@
     });
   };
 
-  // A soak that ends early leaves no process behind.
+  // Leaves no process behind when the soak itself exits early.
   const stopWithSoak = (): void => {
     child?.kill('SIGKILL');
   };
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -5,16 +5,18 @@
 import type { LinkMode } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-/** Address of a listener on loopback. */
+/** Loopback address and port of a listener. */
 export interface LinkAddress {
   readonly host: string;
   readonly port: number;
 }
 
-/** Proxy for the connections of one link. */
+/** Proxy that injects faults into the connections of one link. */
 export interface LinkProxy {
   readonly address: LinkAddress;
+  /** Applies to open and new connections. */
   readonly setMode: (mode: LinkMode) => void;
+  /** Applies to new connections only. */
   readonly setTarget: (target: LinkAddress) => void;
   readonly close: () => void;
 }
@@ -37,10 +39,10 @@
 };
 
 /**
- * Starts a proxy. Bytes that are held back while a link is silent are never delivered: the connection
- * stays open and silent, as after a partition whose sender gave up.
+ * Starts a proxy. Bytes that are dropped by a silent link are never delivered later: the connection
+ * stays open and silent, as after a partition whose sender stopped retransmitting.
  *
- * @param initialTarget - where connections go at the start
+ * @param initialTarget - listener that connections are forwarded to at first
  * @param host - loopback address to listen on
  * @returns the running proxy
  */
@@ -51,11 +53,11 @@
   let target = initialTarget;
   let mode: LinkMode = 'pass';
   const openSockets = new Set<Socket>();
-  /** Connections that lost bytes, and stay silent. */
+  /** Sockets whose received bytes were dropped; nothing they send is delivered any more. */
   const silencedSockets = new WeakSet<Socket>();
 
   const transfer = (from: Socket, to: Socket, direction: Direction): void => {
-    // What comes after delayed bytes waits behind them, whatever the mode is by then.
+    // Later bytes wait for delayed ones even if the mode has changed, so that the order is kept.
     let lastDelivery: Promise<void> = Promise.resolve();
     const deliver = (action: () => void): void => {
       const delay = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
@@ -71,7 +73,7 @@
     from.on('end', () => {
       if (!silencedSockets.has(from) && !isDropped(mode, direction)) deliver(() => to.end());
     });
-    // A reset is passed on by the end of the connection.
+    // The 'close' handler propagates a reset.
     from.on('error', () => undefined);
     from.on('close', (hadError) => {
       openSockets.delete(from);
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -8,8 +8,8 @@
   ENGINE_COUNT,
   GATEWAY_COUNT,
   LEDGER_COUNT,
-  RECOVERY_DEADLINE_MS,
   MIN_SERVED_SHARE,
+  RECOVERY_DEADLINE_MS,
   RECOVERY_MS,
   STREAM_TIMEOUT_MS,
 } from './constants.js';
@@ -35,39 +35,45 @@
 import type { RandomSource } from '../core/random.js';
 import { createSeededSource } from '../standins/common/seededSource.js';
 
+/** Options of one soak. */
 export interface SoakOptions {
+  /** Seed of the faults and of the requests. */
   readonly seed: number;
   /** Time in which faults begin. */
   readonly durationMs: Millis;
-  /** Directory of settings files and logs. */
+  /** Directory of the settings files and logs; created if missing. */
   readonly directory: string;
-  /** Loopback network of this soak, such as `127.80.1`, so that two do not meet. */
+  /** Loopback network, such as `127.80.1`; soaks that run in parallel need one each. */
   readonly network: string;
   readonly startPlatform: StartSoakPlatform;
 }
 
+/** Result of one soak. */
 export interface SoakReport {
   readonly findings: readonly Finding[];
+  /** Number of injected faults and planned changes. */
   readonly faults: number;
+  /** Number of requests sent. */
   readonly calls: number;
+  /** Number of requests that were answered with status 200. */
   readonly served: number;
 }
 
 const STATUS_OK = 200;
 
-/** Time for the first start of all processes. */
+/** Time that all processes are given to start, in ms. */
 const STARTUP_MS = 1_500;
 
-/** Pause of a caller between two requests. */
+/** Pause of a caller between two requests, in ms. */
 const CALL_PAUSE_MS = 15;
 
-/** Time for which a worker that leaves serves on. */
+/** Time for which a draining worker continues to serve, in ms. */
 const WORKER_DRAIN_MS = 2_600;
 
-/** Kinds of requests, each as often as it is named. */
+/** Kinds of requests, drawn with equal probability; a repeated kind is drawn more often. */
 const CALL_KINDS: readonly CallKind[] = ['once', 'once', 'idempotent', 'generation', 'resumable'];
 
-/** Everything that one soak owns. */
+/** State and resources of a running soak. */
 interface Soak {
   readonly clock: Clock;
   readonly platform: SoakPlatform;
@@ -129,7 +135,10 @@
   await startSlot(soak, slot);
 };
 
-/** Times in which the bounds of time do not hold are those of faults, not of planned changes. */
+/**
+ * Reports whether time limits are suspended while the fault lasts. They stay in force during
+ * planned changes.
+ */
 const isDisruptive = ({ kind }: SoakFault): boolean => {
   switch (kind) {
     case 'kill':
@@ -226,7 +235,7 @@
 
 const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
   const from = soak.clock.now();
-  // The end of a fault that lasts is not known yet.
+  // The end is unknown until the fault has been undone.
   const disruption = { from, until: Infinity };
   if (isDisruptive(fault)) soak.disruptions.push(disruption);
   await performFault(soak, fault);
@@ -246,13 +255,13 @@
   }
 };
 
-/** Goes on to the next gateway in rotation, or to the next one where there is none. */
+/** Picks the next gateway in rotation, or the next one of all when none is in rotation. */
 const pickGateway = ({ gateways }: Soak, from: number): number => {
   const order = gateways.map((_, step) => (from + 1 + step) % GATEWAY_COUNT);
   return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAY_COUNT;
 };
 
-/** Sends requests until the soak is over; a caller whose gateway failed goes to the next one. */
+/** Sends requests until the soak is over, and switches to the next gateway after a failure. */
 const runCaller = async (soak: Soak, index: number, random: RandomSource): Promise<void> => {
   const { clock, gateways, hosts, platform } = soak;
   const caller = createCaller(platform);
@@ -268,7 +277,7 @@
     const incarnation = gateways[gateway]?.getIncarnation() ?? 0;
     const sentAt = clock.now();
     const target = { host: hosts[gateway] ?? '', port: platform.callerPort };
-    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs: timeoutMs });
+    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs });
     const outcome = await caller.call(target, wireCall, body, timeoutMs);
     const { customer, key } = callerKey;
     const endedAt = clock.now();
@@ -296,7 +305,7 @@
 const checkRecovery = ({ calls, clock }: Soak): readonly Finding[] => {
   const since = clock.now() - (RECOVERY_MS - RECOVERY_DEADLINE_MS);
   const recentCalls = calls.filter(({ sentAt }) => sentAt >= since);
-  // Look-ups fail at workers by their nature; an answer of a worker counts as served.
+  // Look-ups may fail at a worker by design, so any answer signed by a worker counts as served.
   const served = recentCalls.filter(
     ({ outcome }) =>
       outcome.kind === 'answered' && (outcome.signature !== null || outcome.status === STATUS_OK),
@@ -372,11 +381,11 @@
 };
 
 /**
- * Runs gateways as processes of their own, with stand-ins of everything around them, and injects the
- * faults of a seed from outside.
+ * Runs gateways as separate processes against stand-ins of everything they depend on, and injects
+ * the faults of a seed from outside.
  *
  * @param options - seed, duration and stand-ins
- * @returns the promises that were broken, and how much was tried
+ * @returns the violations that were found, and counts of faults and requests
  */
 export const runSoak = async (options: SoakOptions): Promise<SoakReport> => {
   const { directory, durationMs, seed } = options;
@@ -394,7 +403,7 @@
     await applyFault(soak, fault);
   });
   await Promise.all(faults);
-  // Orders to end that came last are still being followed.
+  // Terminations that began last may still be in progress.
   await Promise.all(soak.gateways.map((gateway) => gateway.waitUntilRunning()));
   await wait(RECOVERY_MS);
   const recoveryFindings = checkRecovery(soak);
