Reword the comments, messages and variables of the scripts

'Fresh' seeds are random, 'wrong' arguments are invalid, and messages such as 'no suite x; there are' and '--path needs' say unknown suite and requires.

--- a/scripts/fuzz.js
+++ b/scripts/fuzz.js
@@ -1,5 +1,5 @@
-// Runs the fuzzing suites of packages/decisions with a fresh or given seed. Exits with 1 when a
-// violation was found and with 64 when the arguments are wrong.
+// Runs the fuzzing suites of packages/decisions with a given or random seed. Exits with 1 when a
+// violation was found and with 64 when the arguments are invalid.
 import { parseArgs } from 'node:util';
 import { FUZZ_SUITES } from '../dist/packages/decisions/fuzz/suites.fixture.js';
 import { replayPath, runSuites } from '../dist/packages/decisions/fuzz/runSuites.js';
@@ -13,47 +13,54 @@
   process.stdout.write(`${line}\n`);
 };
 
-const refuseUsage = (text) => {
+const failWithUsage = (message) => {
   process.stderr.write(
-    `${text}\nusage: npm run fuzz -- [--seed N] [--minutes M] [--suite NAME] [--path PATH]\n`,
+    `${message}\nusage: npm run fuzz -- [--seed N] [--minutes M] [--suite NAME] [--path PATH]\n`,
   );
   process.exit(USAGE_EXIT);
 };
 
 const readNumber = (name, text, isValid) => {
   const value = Number(text);
-  if (text.trim() === '' || !isValid(value)) refuseUsage(`--${name} ${text} is not valid`);
+  if (text.trim() === '' || !isValid(value)) failWithUsage(`invalid value for --${name}: ${text}`);
   return value;
 };
 
-const readArguments = () => {
-  const string = { type: 'string' };
-  const options = { seed: string, minutes: string, suite: string, path: string };
+const parseArguments = () => {
+  const stringOption = { type: 'string' };
+  const options = {
+    seed: stringOption,
+    minutes: stringOption,
+    suite: stringOption,
+    path: stringOption,
+  };
   try {
     return parseArgs({ options }).values;
   } catch (error) {
-    return refuseUsage(error.message);
+    return failWithUsage(error.message);
   }
 };
 
-const given = readArguments();
-const isSeed = (value) => Number.isInteger(value) && Math.abs(value) < MAX_SEED;
-const fresh = Math.floor(Math.random() * MAX_SEED).toString();
-const seed = readNumber('seed', given.seed ?? fresh, isSeed);
-const minutes = readNumber('minutes', given.minutes ?? DEFAULT_MINUTES.toString(), (m) => m > 0);
-const suites = FUZZ_SUITES.filter(({ name }) => name === (given.suite ?? name));
+const values = parseArguments();
+const isValidSeed = (value) => Number.isInteger(value) && Math.abs(value) < MAX_SEED;
+const randomSeed = Math.floor(Math.random() * MAX_SEED).toString();
+const seed = readNumber('seed', values.seed ?? randomSeed, isValidSeed);
+const minutes = readNumber('minutes', values.minutes ?? DEFAULT_MINUTES.toString(), (m) => m > 0);
+const suites = FUZZ_SUITES.filter(({ name }) => name === (values.suite ?? name));
 if (suites.length === 0) {
-  refuseUsage(`no suite ${given.suite}; there are ${FUZZ_SUITES.map((s) => s.name).join(', ')}`);
+  failWithUsage(
+    `unknown suite ${values.suite}; known suites: ${FUZZ_SUITES.map((s) => s.name).join(', ')}`,
+  );
 }
-if (given.path !== undefined && (given.suite === undefined || given.seed === undefined)) {
-  refuseUsage('--path needs --suite and --seed');
+if (values.path !== undefined && (values.suite === undefined || values.seed === undefined)) {
+  failWithUsage('--path requires --suite and --seed');
 }
 const inputs = { seed, durationMs: minutes * MS_PER_MINUTE, now: Date.now, print };
 const report =
-  given.path === undefined
+  values.path === undefined
     ? runSuites(suites, inputs)
-    : replayPath(suites[0], seed, given.path, print);
+    : replayPath(suites[0], seed, values.path, print);
 for (const [name, runs] of report.runs) print(`${name}: ${runs} runs`);
-if (report.violations.length === 0) print('no violation');
-else print(`${report.violations.length} suites violated`);
+if (report.violations.length === 0) print('no violations');
+else print(`violations found in ${report.violations.length} suites`);
 process.exitCode = report.violations.length === 0 ? 0 : 1;
--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -1,5 +1,5 @@
-// Runs the fault soak with given or fresh seeds, one after the other. Exits with 1 when a promise was
-// broken and with 64 when the arguments are wrong.
+// Runs the fault soak with consecutive seeds, starting at a given or random one. Exits with 1 when a
+// promise was violated and with 64 when the value of an argument is invalid.
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -9,7 +9,7 @@
 
 const DEFAULT_SECONDS = 15;
 const MS_PER_SECOND = 1_000;
-const MAX_SEED = 2 ** 30;
+const MAX_VALUE = 2 ** 30;
 const USAGE_EXIT = 64;
 
 const print = (line) => {
@@ -18,27 +18,28 @@
 
 const readNumber = (name, text) => {
   const value = Number(text);
-  if (Number.isInteger(value) && value > 0 && value < MAX_SEED) return value;
+  if (Number.isInteger(value) && value > 0 && value < MAX_VALUE) return value;
   process.stderr.write(
-    `--${name} ${text} is not valid\nusage: npm run soak -- [--seed N] [--runs N] [--seconds N] [--lane N]\n`,
+    `invalid value for --${name}: ${text}\nusage: npm run soak -- [--seed N] [--runs N] [--seconds N] [--lane N]\n`,
   );
   return process.exit(USAGE_EXIT);
 };
 
-const string = { type: 'string' };
+const stringOption = { type: 'string' };
 const { values } = parseArgs({
-  options: { seed: string, runs: string, seconds: string, lane: string },
+  options: { seed: stringOption, runs: stringOption, seconds: stringOption, lane: stringOption },
 });
-const first = readNumber('seed', values.seed ?? Math.ceil(Math.random() * 1e6).toString());
+const firstSeed = readNumber('seed', values.seed ?? Math.ceil(Math.random() * 1e6).toString());
 const runs = readNumber('runs', values.runs ?? '1');
 const durationMs =
   readNumber('seconds', values.seconds ?? DEFAULT_SECONDS.toString()) * MS_PER_SECOND;
-// Soaks that run side by side need a loopback network each.
+// Soaks that run in parallel need separate loopback networks.
 const lane = readNumber('lane', values.lane ?? '1');
+// Exits through process.exit, so that the exit handlers of the soak kill its gateway processes.
 for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(1));
-const root = mkdtempSync(join(tmpdir(), 'soak-'));
-for (let seed = first; seed < first + runs; seed += 1) {
-  const directory = join(root, seed.toString());
+const rootDirectory = mkdtempSync(join(tmpdir(), 'soak-'));
+for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
+  const directory = join(rootDirectory, seed.toString());
   const report = await runSoak({
     seed,
     durationMs,
--- a/scripts/writeCommandPage.js
+++ b/scripts/writeCommandPage.js
@@ -1,4 +1,4 @@
-// Writes docs/COMMANDS.md from the commands of the command line.
+// Generates docs/COMMANDS.md from the definitions of the commands.
 import { writeFileSync } from 'node:fs';
 import { Config, settings } from '@oclif/core';
 import { renderCommandPage } from '../dist/app/commandPage.js';
--- a/scripts/writeEventPage.js
+++ b/scripts/writeEventPage.js
@@ -1,4 +1,4 @@
-// Writes docs/EVENTS.md from the event catalogue.
+// Generates docs/EVENTS.md from the event catalogue.
 import { writeFileSync } from 'node:fs';
 import { renderEventPage } from '../dist/packages/core/events/eventPage.js';
 
--- a/scripts/writeSettingsPage.js
+++ b/scripts/writeSettingsPage.js
@@ -1,4 +1,4 @@
-// Writes docs/SETTINGS.md from the settings schemas.
+// Generates docs/SETTINGS.md from the settings schemas.
 import { writeFileSync } from 'node:fs';
 import { renderSettingsPage } from '../dist/packages/settings/page.js';
 
