--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,7 +59,8 @@
       'no-restricted-syntax': [
         'error',
         { selector: 'TSEnumDeclaration', message: 'Use a string union in place of an enum.' },
-        // Without them CI would run another test each time; npm run fuzz takes fresh seeds.
+        // Without a fixed seed and number of runs, CI would test other inputs each time. Random seeds
+        // are for `npm run fuzz`.
         {
           selector:
             "CallExpression[callee.object.name='fc'][callee.property.name=/^(assert|check)$/][arguments.length<2]",
@@ -85,7 +86,7 @@
     },
   },
   {
-    // Decisions stay apart from the encoding of messages and from I/O.
+    // Decisions are independent of the encoding of messages and of I/O.
     files: ['packages/decisions/**/*.ts'],
     ignores: ['**/*.test.ts'],
     rules: {
