--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -33,7 +33,7 @@
       text += chunk;
       onChunk(chunk);
     });
-    // `complete` already tells whether the answer was cut off, so the error adds nothing.
+    // `complete` already shows whether the answer was cut off, so the error adds nothing.
     answer.on('error', () => undefined);
     answer.on('close', () => {
       resolve({ text, isComplete: answer.complete });
