--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -4,42 +4,47 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { GRACE_MS } from './constants.js';
-import type { GatewayPlace, SoakPlatform } from './soakPlatform.js';
+import type { GatewaySpec, SoakPlatform } from './soakPlatform.js';
 import type { Finding, Termination } from './types.js';
 import type { Clock } from '../core/clock.js';
 
-/** Time beyond the grace period after which a process that was ordered to end is killed. */
+/** Time after the grace period until a process that has not exited is killed, in ms. */
 const KILL_MARGIN_MS = 1_000;
 
-/** Time after an order to end in which the balancer still sends new connections. */
-const ROTATION_MS = 2_000;
+/** Time after SIGTERM for which the load balancer still sends new connections, in ms. */
+const ROTATION_DELAY_MS = 2_000;
 
-/** Interval at which a process is looked at that is to be steady. */
-const STEADY_CHECK_MS = 50;
+/** Interval at which the phase of a process is polled, in ms. */
+const RUNNING_POLL_MS = 50;
 
-/** One gateway that is started again after each end. */
+/** A gateway process, restarted when it exits for any reason but a kill. */
 export interface GatewayProcess {
-  /** Run of the process, from 1. */
+  /** Returns the number of the current or last process, from 1; 0 before the first start. */
   readonly getIncarnation: () => number;
-  /** Whether the balancer sends new connections: not to one that was ordered to end a while ago. */
+  /**
+   * Reports whether the load balancer sends new connections to the process. It stops a while after
+   * SIGTERM.
+   */
   readonly isInRotation: () => boolean;
-  /** Resolves when the process runs and has no order to end. */
-  readonly waitUntilSteady: () => Promise<void>;
+  /** Resolves when the process is running and not terminating. */
+  readonly waitUntilRunning: () => Promise<void>;
   readonly start: () => void;
   readonly kill: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Sends SIGTERM and reports a finding if the process has not exited after the grace period. */
   readonly terminate: () => void;
+  /** Rewrites the settings file and sends SIGHUP. */
   readonly reload: () => void;
-  /** Ends the process for good; resolves when it is gone. */
+  /** Kills the process without a restart; resolves when it has exited. */
   readonly end: () => Promise<void>;
 }
 
 export interface GatewayProcessOptions {
   readonly index: number;
   readonly platform: SoakPlatform;
-  readonly place: GatewayPlace;
-  /** Directory of the settings files and logs. */
+  readonly spec: GatewaySpec;
+  /** Directory of the settings file and the log. */
   readonly directory: string;
   readonly clock: Clock;
   readonly onFinding: (finding: Finding) => void;
@@ -49,25 +54,25 @@
 type Phase = 'stopped' | 'running' | 'ending' | 'killed';
 
 /**
- * Creates the control of one gateway process. Only this process is ever signalled, by its id.
+ * Creates the controller of one gateway process. It signals only that process, by its id.
  *
- * @param options - place, stand-ins and receivers
- * @returns the control; the process is not yet started
+ * @param options - addresses, stand-ins and callbacks
+ * @returns the controller; the process is not started yet
  */
 export const createGatewayProcess = (options: GatewayProcessOptions): GatewayProcess => {
-  const { clock, directory, index, place, platform } = options;
-  const settingsPath = join(directory, `${place.name}.jsonc`);
-  const log = createWriteStream(join(directory, `${place.name}.log`), { flags: 'a' });
+  const { clock, directory, index, spec, platform } = options;
+  const settingsPath = join(directory, `${spec.name}.jsonc`);
+  const log = createWriteStream(join(directory, `${spec.name}.log`), { flags: 'a' });
   let child: ChildProcess | null = null;
   let phase: Phase = 'stopped';
   let incarnation = 0;
-  let orderedAt = 0;
+  let terminatedAt = 0;
 
   const handleExit = (code: number | null, signal: string | null): void => {
     const isExpected = phase === 'ending' || phase === 'killed';
     if (!isExpected) {
-      const end = signal ?? `code ${String(code)}`;
-      const detail = `${place.name} ended by itself with ${end}`;
+      const cause = signal ?? `code ${String(code)}`;
+      const detail = `${spec.name} ended by itself with ${cause}`;
       options.onFinding({ promise: 'process-stays', detail });
     }
     const isRestarted = phase === 'ending' || phase === 'running';
@@ -80,7 +85,7 @@
     if (child !== null) return;
     incarnation += 1;
     phase = 'running';
-    writeFileSync(settingsPath, platform.formatSettings(place));
+    writeFileSync(settingsPath, platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
       env: { ...process.env, [platform.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -91,31 +96,31 @@
     child = started;
   };
 
-  const watchEnd = (ordered: ChildProcess): void => {
+  const watchExit = (terminated: ChildProcess): void => {
     const timer = setTimeout(() => {
-      if (ordered.exitCode !== null || ordered.signalCode !== null) return;
-      const detail = `${place.name} is still there after its grace period`;
+      if (terminated.exitCode !== null || terminated.signalCode !== null) return;
+      const detail = `${spec.name} is still running after its grace period`;
       options.onFinding({ promise: 'process-ends', detail });
       phase = 'killed';
-      ordered.kill('SIGKILL');
+      terminated.kill('SIGKILL');
     }, GRACE_MS + KILL_MARGIN_MS);
-    ordered.once('exit', () => {
+    terminated.once('exit', () => {
       clearTimeout(timer);
     });
   };
 
-  // A soak that ends early leaves no process behind.
-  const endWithSoak = (): void => {
+  // Leaves no process behind when the soak itself exits early.
+  const stopWithSoak = (): void => {
     child?.kill('SIGKILL');
   };
-  process.once('exit', endWithSoak);
+  process.once('exit', stopWithSoak);
 
   return {
     getIncarnation: () => incarnation,
     isInRotation: () =>
-      phase === 'running' || (phase === 'ending' && clock.now() - orderedAt < ROTATION_MS),
-    waitUntilSteady: async () => {
-      while (phase !== 'running') await sleep(STEADY_CHECK_MS);
+      phase === 'running' || (phase === 'ending' && clock.now() - terminatedAt < ROTATION_DELAY_MS),
+    waitUntilRunning: async () => {
+      while (phase !== 'running') await sleep(RUNNING_POLL_MS);
     },
     start,
     kill: () => {
@@ -132,20 +137,20 @@
     terminate: () => {
       if (child === null || phase !== 'running') return;
       phase = 'ending';
-      orderedAt = clock.now();
+      terminatedAt = clock.now();
       options.onTermination({ gateway: index, incarnation, at: clock.now() });
       child.kill('SIGTERM');
-      watchEnd(child);
+      watchExit(child);
     },
     reload: () => {
       if (child === null || phase !== 'running') return;
-      writeFileSync(settingsPath, `${platform.formatSettings(place)}\n`);
+      writeFileSync(settingsPath, `${platform.formatSettings(spec)}\n`);
       child.kill('SIGHUP');
     },
     end: () =>
       new Promise((resolve) => {
         log.end();
-        process.removeListener('exit', endWithSoak);
+        process.removeListener('exit', stopWithSoak);
         if (child === null) {
           resolve();
           return;
