Reword the clients of the command line and the operator commands

"NoAnswer", "given", "toLocation" and "fetchBase" did not say what they hold; they are now RequestFailure, options, joinUrl and fetchCurrentOffset. Messages such as "answers in an unknown form" now say "returned an unexpected response body". Test comments name the failure they guard against; the assertions are the same.

--- a/app/clients/debugPages.ts
+++ b/app/clients/debugPages.ts
@@ -12,7 +12,7 @@
 
 const EVENT_SCHEMA = z.object({
   number: z.number(),
-  // A newer daemon can log events that this command line does not know; they are shown too.
+  // Any name is accepted: a newer daemon can log events that this version does not know.
   name: z.string(),
   level: z.enum(['debug', 'info', 'warn', 'error']),
   sequence: z.int().min(0),
@@ -37,53 +37,53 @@
   events: z.array(EVENT_SCHEMA),
 });
 
-/** Logs of the daemons that answered, and what is missing. */
+/** Logs of the daemons that answered, and errors of the others. */
 export interface CollectedLogs {
   readonly logs: readonly ProcessLog[];
-  /** One message for each daemon that gave no events. */
+  /** One message for each daemon or instance list that could not be read. */
   readonly missing: readonly string[];
 }
 
-/** Where the events are read. */
+/** Daemons to read events from. */
 export interface EventSources {
   readonly urls: readonly string[];
   readonly listUrl?: string;
 }
 
-const toLocation = (base: string, path: string): string => `${base.replace(/\/+$/, '')}${path}`;
+const joinUrl = (base: string, path: string): string => `${base.replace(/\/+$/, '')}${path}`;
 
 const fetchPage = async <Page>(
   url: string,
   schema: z.ZodType<Page>,
 ): Promise<Result<Page, string>> => {
-  const answer = await fetchJson({ method: 'GET', url });
-  if (answer.isErr()) return Err(answer.error.message);
-  if (answer.value.status !== 200) {
-    return Err(`${url} answers with status ${answer.value.status.toString()}`);
+  const response = await fetchJson({ method: 'GET', url });
+  if (response.isErr()) return Err(response.error.message);
+  if (response.value.status !== 200) {
+    return Err(`${url} returned status ${response.value.status.toString()}`);
   }
-  const parsed = schema.safeParse(answer.value.body);
-  return parsed.success ? Ok(parsed.data) : Err(`${url} answers in an unknown form`);
+  const parsed = schema.safeParse(response.value.body);
+  return parsed.success ? Ok(parsed.data) : Err(`${url} returned an unexpected response body`);
 };
 
 const fetchListedUrls = async (
   listUrl: string | undefined,
 ): Promise<Result<readonly string[], string>> => {
   if (listUrl === undefined) return Ok([]);
-  const page = await fetchPage(toLocation(listUrl, '/instances'), INSTANCES_SCHEMA);
+  const page = await fetchPage(joinUrl(listUrl, '/instances'), INSTANCES_SCHEMA);
   return page.map(({ instances }) => instances.map(({ httpUrl }) => httpUrl));
 };
 
 /**
- * Reads the kept events of daemons.
+ * Fetches the events that daemons retain.
  *
- * @param sources - addresses of daemons, or of the instance list that names them
- * @returns the events, and a message for each daemon or list that did not give any
+ * @param sources - base URLs of daemons, and of an instance list that names more of them
+ * @returns the events, and a message for each daemon or list that could not be read
  */
 export const fetchLogs = async (sources: EventSources): Promise<CollectedLogs> => {
   const listed = await fetchListedUrls(sources.listUrl);
   const urls = new Set([...sources.urls, ...listed.unwrapOr([])]);
   const pages = await Promise.all(
-    [...urls].map((url) => fetchPage(toLocation(url, '/debug/events?from=0'), PAGE_SCHEMA)),
+    [...urls].map((url) => fetchPage(joinUrl(url, '/debug/events?from=0'), PAGE_SCHEMA)),
   );
   return {
     logs: pages.flatMap((page) => (page.isOk() ? [page.value as ProcessLog] : [])),
--- a/app/clients/http.ts
+++ b/app/clients/http.ts
@@ -3,36 +3,36 @@
 import { request } from 'undici';
 import type { Millis } from '../../packages/core/clock.js';
 
-/** Time after which a daemon that does not answer is given up. */
-const ANSWER_TIMEOUT_MS: Millis = 10_000;
+/** Timeout for the headers and for each part of the body of a response. */
+const RESPONSE_TIMEOUT_MS: Millis = 10_000;
 
 export interface JsonRequest {
   readonly method: 'GET' | 'POST';
   readonly url: string;
-  /** Bearer key. */
+  /** Bearer token for the `Authorization` header. */
   readonly key?: string;
   readonly body?: unknown;
 }
 
-export interface JsonAnswer {
+export interface JsonResponse {
   readonly status: number;
   readonly body: unknown;
 }
 
-/** Why there is no answer. */
-export interface NoAnswer {
-  /** Whether the server may have acted on the request. */
+/** Why a request has no response. */
+export interface RequestFailure {
+  /** Whether the server may have executed the request. */
   readonly verdict: 'not-run' | 'may-have-run';
   readonly message: string;
 }
 
-const buildHeaders = (given: JsonRequest): Readonly<Record<string, string>> => ({
+const buildHeaders = (options: JsonRequest): Readonly<Record<string, string>> => ({
   accept: 'application/json',
-  ...(given.body === undefined ? {} : { 'content-type': 'application/json' }),
-  ...(given.key === undefined ? {} : { authorization: `Bearer ${given.key}` }),
+  ...(options.body === undefined ? {} : { 'content-type': 'application/json' }),
+  ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
 });
 
-const describeError = (url: string, error: unknown): NoAnswer => {
+const describeError = (url: string, error: unknown): RequestFailure => {
   const { code, message } = error as { readonly code?: string; readonly message?: string };
   return {
     verdict: code === 'ECONNREFUSED' ? 'not-run' : 'may-have-run',
@@ -41,22 +41,24 @@
 };
 
 /**
- * Sends one request and reads its JSON answer.
+ * Sends one request and reads its JSON response.
  *
- * @param given - method, URL, key and body
- * @returns status and body of any answer, or why there is none
+ * @param options - method, URL, key and body
+ * @returns status and body of a response of any status, or why there is none
  */
-export const fetchJson = async (given: JsonRequest): Promise<Result<JsonAnswer, NoAnswer>> => {
+export const fetchJson = async (
+  options: JsonRequest,
+): Promise<Result<JsonResponse, RequestFailure>> => {
   try {
-    const answer = await request(given.url, {
-      method: given.method,
-      headers: buildHeaders(given),
-      body: given.body === undefined ? null : JSON.stringify(given.body),
-      headersTimeout: ANSWER_TIMEOUT_MS,
-      bodyTimeout: ANSWER_TIMEOUT_MS,
+    const response = await request(options.url, {
+      method: options.method,
+      headers: buildHeaders(options),
+      body: options.body === undefined ? null : JSON.stringify(options.body),
+      headersTimeout: RESPONSE_TIMEOUT_MS,
+      bodyTimeout: RESPONSE_TIMEOUT_MS,
     });
-    return Ok({ status: answer.statusCode, body: await answer.body.json() });
+    return Ok({ status: response.statusCode, body: await response.body.json() });
   } catch (error) {
-    return Err(describeError(given.url, error));
+    return Err(describeError(options.url, error));
   }
 };
--- a/app/clients/operatorClient.ts
+++ b/app/clients/operatorClient.ts
@@ -2,15 +2,15 @@
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
 import { fetchJson } from './http.js';
-import type { JsonAnswer } from './http.js';
+import type { JsonResponse } from './http.js';
 
-/** Address and key of the operator interface of an entry daemon. */
+/** Base URL and bearer key of an entry daemon's operator interface. */
 export interface OperatorTarget {
   readonly url: string;
   readonly key: string;
 }
 
-/** Record of the control stream that an operator publishes. */
+/** Control-stream record that an operator publishes. */
 export interface OperatorRecord {
   readonly kind: 'targets' | 'data-centre' | 'move';
   readonly entity: string;
@@ -21,7 +21,7 @@
 
 export type PublishMode = 'publish' | 'dry-run';
 
-/** Why the operator interface did not do what it was asked to do. */
+/** Why a request to the operator interface failed. */
 export type OperatorFailure =
   | { readonly kind: 'no-answer'; readonly change: 'none' | 'possible'; readonly message: string }
   | { readonly kind: 'unauthorized'; readonly message: string }
@@ -80,16 +80,17 @@
 
 export type MoveRow = z.output<typeof MOVES_SCHEMA>['moves'][number];
 
-const describeRefusal = (answer: JsonAnswer): OperatorFailure => {
-  const problem = PROBLEM_SCHEMA.safeParse(answer.body).data ?? {};
-  const status = answer.status.toString();
-  const message = problem.detail ?? problem.code ?? `the operator interface answers ${status}`;
-  if (answer.status === 401 || answer.status === 403) return { kind: 'unauthorized', message };
-  if (answer.status === 409 && problem.winner !== undefined) {
+const classifyErrorResponse = (response: JsonResponse): OperatorFailure => {
+  const problem = PROBLEM_SCHEMA.safeParse(response.body).data ?? {};
+  const status = response.status.toString();
+  const message =
+    problem.detail ?? problem.code ?? `the operator interface returned status ${status}`;
+  if (response.status === 401 || response.status === 403) return { kind: 'unauthorized', message };
+  if (response.status === 409 && problem.winner !== undefined) {
     return { kind: 'lost-race', winner: problem.winner };
   }
-  if (answer.status === 400 || answer.status === 422) return { kind: 'bad-record', message };
-  if (answer.status === 429 || answer.status === 503) return { kind: 'unavailable', message };
+  if (response.status === 400 || response.status === 422) return { kind: 'bad-record', message };
+  if (response.status === 429 || response.status === 503) return { kind: 'unavailable', message };
   return { kind: 'fault', message };
 };
 
@@ -99,25 +100,28 @@
   schema: z.ZodType<Body>,
   record?: OperatorRecord,
 ): Promise<Result<Body, OperatorFailure>> => {
-  const answer = await fetchJson({
+  const response = await fetchJson({
     method: record === undefined ? 'GET' : 'POST',
     url: `${target.url.replace(/\/+$/, '')}${path}`,
     key: target.key,
     ...(record === undefined ? {} : { body: record }),
   });
-  if (answer.isErr()) {
-    const { verdict, message } = answer.error;
+  if (response.isErr()) {
+    const { verdict, message } = response.error;
     const change = record === undefined || verdict === 'not-run' ? 'none' : 'possible';
     return Err({ kind: 'no-answer', change, message });
   }
-  if (answer.value.status !== 200) return Err(describeRefusal(answer.value));
-  const parsed = schema.safeParse(answer.value.body);
+  if (response.value.status !== 200) return Err(classifyErrorResponse(response.value));
+  const parsed = schema.safeParse(response.value.body);
   if (parsed.success) return Ok(parsed.data);
-  return Err({ kind: 'fault', message: `${target.url}${path} answers in an unknown form` });
+  return Err({
+    kind: 'fault',
+    message: `${target.url}${path} returned an unexpected response body`,
+  });
 };
 
 /**
- * Reads the configuration in force at an entry daemon.
+ * Fetches the configuration in force at an entry daemon.
  *
  * @param target - address and key
  * @returns all entities with their offsets
@@ -128,7 +132,7 @@
   fetchFromOperator(target, '/operator/configuration', CONFIGURATION_SCHEMA);
 
 /**
- * Reads the version moves.
+ * Fetches the version moves.
  *
  * @param target - address and key
  * @returns the moves with their shares and states
@@ -141,12 +145,12 @@
 };
 
 /**
- * Publishes a record, or asks what it would change.
+ * Publishes a record, or requests a preview of what it would change.
  *
  * @param target - address and key
  * @param record - record of the control stream
  * @param mode - `dry-run` appends nothing
- * @returns the offset in force or the change, or why it was refused
+ * @returns the offset of the record or the previewed change, or why the request failed
  */
 export const publishRecord = async (
   target: OperatorTarget,
@@ -155,9 +159,9 @@
 ): Promise<Result<PublishResult, OperatorFailure>> => {
   const path = `/operator/records?dryRun=${String(mode === 'dry-run')}`;
   const published = await fetchFromOperator(target, path, PUBLISHED_SCHEMA, record);
-  return published.map((answer): PublishResult =>
-    answer.result === 'in-force'
-      ? { kind: 'in-force', offset: answer.offset }
-      : { kind: 'dry-run', change: answer.change },
+  return published.map((response): PublishResult =>
+    response.result === 'in-force'
+      ? { kind: 'in-force', offset: response.offset }
+      : { kind: 'dry-run', change: response.change },
   );
 };
--- a/app/operatorOutcomes.ts
+++ b/app/operatorOutcomes.ts
@@ -17,12 +17,12 @@
 /** Environment variable that holds the operator's bearer key. */
 export const OPERATOR_KEY_VARIABLE = 'CHESTNUTSPAN_OPERATOR_KEY';
 
-/** Flags that every operator command has. */
+/** Parsed flags of every operator command. */
 export interface OperatorFlags {
   readonly 'operator-url': string;
 }
 
-/** Flags of the commands that publish a record. */
+/** Parsed flags of the commands that publish a record. */
 export interface PublishFlags extends OperatorFlags {
   readonly 'dry-run': boolean;
   readonly 'based-on'?: number | undefined;
@@ -33,7 +33,7 @@
 const MISSING_KEY: CommandOutcome = {
   kind: 'failed',
   reason: 'usage',
-  message: `${OPERATOR_KEY_VARIABLE} holds no operator key`,
+  message: `${OPERATOR_KEY_VARIABLE} must contain the operator key`,
 };
 
 const buildTarget = (flags: OperatorFlags): OperatorTarget | undefined => {
@@ -47,7 +47,7 @@
       const effect =
         failure.change === 'none'
           ? 'nothing was changed'
-          : 'the record may be in force; read the configuration before another try';
+          : 'the record may be in force; read the configuration before retrying';
       const message = `${failure.message}; ${effect}`;
       return { kind: 'failed', reason: 'try-again', message };
     }
@@ -91,8 +91,8 @@
   }
 };
 
-/** Offset of the entity that is in force now; null for a new entity. */
-const fetchBase = async (
+/** Returns the offset of the record in force for the entity; null for a new entity. */
+const fetchCurrentOffset = async (
   target: OperatorTarget,
   change: Change,
 ): Promise<Result<number | null, OperatorFailure>> => {
@@ -106,12 +106,12 @@
 };
 
 /**
- * Publishes a change of one entity.
+ * Publishes a change to one entity.
  *
- * @param flags - address, mode, and the offset on which the change is based; without one the change
- *   is based on what is in force now
+ * @param flags - address, mode, and the offset on which the change is based; by default the change
+ *   is based on the record in force
  * @param change - kind, entity and body
- * @returns the outcome; a lost race tells the winner
+ * @returns the outcome; a lost race names the author and offset of the winning record
  */
 export const publishChange = async (
   flags: PublishFlags,
@@ -119,8 +119,9 @@
 ): Promise<CommandOutcome> => {
   const target = buildTarget(flags);
   if (target === undefined) return MISSING_KEY;
-  const given = flags['based-on'];
-  const basedOn = given === undefined ? await fetchBase(target, change) : Ok(given);
+  const explicitOffset = flags['based-on'];
+  const basedOn =
+    explicitOffset === undefined ? await fetchCurrentOffset(target, change) : Ok(explicitOffset);
   if (basedOn.isErr()) return describeFailure(basedOn.error);
   const mode: PublishMode = flags['dry-run'] ? 'dry-run' : 'publish';
   const result = await publishRecord(target, { ...change, basedOn: basedOn.value }, mode);
@@ -128,11 +129,11 @@
 };
 
 /**
- * Takes a data centre out of service or returns it.
+ * Takes a data centre out of service or returns it to service.
  *
  * @param flags - address and mode
  * @param name - data centre
- * @param state - wanted state
+ * @param state - desired state
  * @returns the outcome
  */
 export const publishDataCentre = (
@@ -142,7 +143,7 @@
 ): Promise<CommandOutcome> =>
   publishChange(flags, { kind: 'data-centre', entity: name, body: { state } });
 
-/** Flags of the command that starts a move. */
+/** Parsed flags of the command that starts a version move. */
 export interface MoveFlags extends PublishFlags {
   readonly model: string;
   readonly from: string;
@@ -160,7 +161,7 @@
  * @param flags - model, versions and deadline
  * @param name - name of the move
  * @param now - current instant
- * @returns the outcome; a deadline that has passed or is no date is a usage error
+ * @returns the outcome; a deadline in the past or one that is not a date is a usage error
  */
 export const publishMove = async (
   flags: MoveFlags,
@@ -203,7 +204,7 @@
  *
  * @param flags - address of the operator interface
  * @param name - name of the move
- * @returns the move; a name that no move has is a usage error
+ * @returns the move; an unknown name is a usage error
  */
 export const findMove = async (flags: OperatorFlags, name: string): Promise<CommandOutcome> => {
   const target = buildTarget(flags);
--- a/app/remote.test.ts
+++ b/app/remote.test.ts
@@ -7,21 +7,21 @@
 import { buildEvent } from '../packages/timeline/testEvents.js';
 
 const KEY = { CHESTNUTSPAN_OPERATOR_KEY: 'operator-key' };
-const FOLDER = mkdtempSync(join(tmpdir(), 'chestnutspan-cli-'));
+const DIRECTORY = mkdtempSync(join(tmpdir(), 'chestnutspan-cli-'));
 
 test.after.always(() => {
-  rmSync(FOLDER, { recursive: true, force: true });
+  rmSync(DIRECTORY, { recursive: true, force: true });
 });
 
-type Answer = readonly [status: number, body: unknown];
+type CannedResponse = readonly [status: number, body: unknown];
 
 interface Posted {
   readonly dryRun: string;
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** Fake of the operator interface that records what it gets. */
-const startOperator = async (answer: Answer) => {
+/** Starts a fake operator interface that records the requests that it receives. */
+const startOperator = async (response: CannedResponse) => {
   const posted: Posted[] = [];
   const app = fastify();
   app.addHook('onRequest', async (request, reply) => {
@@ -53,21 +53,21 @@
     '/operator/records',
     async (request, reply) => {
       posted.push({ dryRun: request.query.dryRun, body: request.body });
-      await reply.code(answer[0]).send(answer[1]);
+      await reply.code(response[0]).send(response[1]);
     },
   );
   const url = await app.listen({ host: '127.0.0.1', port: 0 });
   return { url, posted, close: () => app.close() };
 };
 
-const runOperator = async (answer: Answer, ...argv: readonly string[]) => {
-  const operator = await startOperator(answer);
-  const ended = await runProgram([...argv, '--operator-url', operator.url], KEY);
+const runOperator = async (response: CannedResponse, ...argv: readonly string[]) => {
+  const operator = await startOperator(response);
+  const result = await runProgram([...argv, '--operator-url', operator.url], KEY);
   await operator.close();
-  return { ...ended, posted: operator.posted };
+  return { ...result, posted: operator.posted };
 };
 
-// Guards against a change that overwrites another operator's newer one.
+// Guards against a change that overwrites a newer one by another operator.
 test('a change is based on the offset in force and a lost race names the winner', async (t) => {
   const winner = { offset: 11, author: 'bob' };
   const lost = await runOperator(
@@ -86,26 +86,26 @@
   ]);
 });
 
-// Guards against a dry run that publishes, and against a new entity with a made-up offset.
-test('a dry run asks for the change only', async (t) => {
-  const file = join(FOLDER, 'targets.jsonc');
+// Guards against a dry run that publishes, and against a new entity that is sent with an offset.
+test('a dry run requests the change without publishing it', async (t) => {
+  const file = join(DIRECTORY, 'targets.jsonc');
   writeFileSync(file, '{ "lookups": { "firstTokenMs": 400 } } // classes');
-  const answer: Answer = [200, { result: 'dry-run', change: 'lookups: added' }];
-  const ended = await runOperator(answer, 'targets', 'publish', file, '--dry-run', '--json');
-  t.is(ended.code, 0);
-  t.like(JSON.parse(ended.stdout), { result: 'dry-run', change: 'lookups: added' });
-  t.is(ended.posted[0]?.dryRun, 'true');
-  t.like(ended.posted[0]?.body, {
+  const response: CannedResponse = [200, { result: 'dry-run', change: 'lookups: added' }];
+  const result = await runOperator(response, 'targets', 'publish', file, '--dry-run', '--json');
+  t.is(result.code, 0);
+  t.like(JSON.parse(result.stdout), { result: 'dry-run', change: 'lookups: added' });
+  t.is(result.posted[0]?.dryRun, 'true');
+  t.like(result.posted[0]?.body, {
     kind: 'targets',
     basedOn: null,
     body: { lookups: { firstTokenMs: 400 } },
   });
 });
 
-// Guards against a move without a usable deadline, which could never finish on schedule.
-test('a move is started with its record, and moves are listed', async (t) => {
+// Guards against a move that is published with a deadline in the past, which it can never meet.
+test('move start publishes a record, and move list prints the moves', async (t) => {
   const argv = ['move', 'start', 'm', '--model', 'x', '--from', 'v1', '--to', 'v2'];
-  const inForce: Answer = [200, { result: 'in-force', offset: 13 }];
+  const inForce: CannedResponse = [200, { result: 'in-force', offset: 13 }];
   const late = await runOperator(inForce, ...argv, '--deadline', '2001-01-01');
   t.is(late.code, 64);
   const started = await runOperator(inForce, ...argv, '--finish-in-ms', '60000', '--based-on', '7');
@@ -119,38 +119,41 @@
   t.is((await runOperator(inForce, 'move', 'status', 'other')).code, 64);
 });
 
-// Guards against exit codes that make a script repeat what cannot succeed, or give up too early.
-test('refusals and silence have exit codes of their own', async (t) => {
+// Guards against exit codes that make a script retry a permanent failure, or give up on a temporary
+// one.
+test('refused requests and unreachable daemons have distinct exit codes', async (t) => {
   const argv = ['data-centre', 'back', 'dc-a'] as const;
   t.is((await runOperator([422, { detail: 'no such data centre' }], ...argv)).code, 78);
   t.is((await runOperator([503, { code: 'log-unavailable' }], ...argv)).code, 75);
   t.is((await runOperator([500, {}], ...argv)).code, 70);
-  const closed = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1'], KEY);
-  t.is(closed.code, 75);
-  t.regex(closed.stderr, /nothing was changed/);
-  const unnamed = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1']);
-  t.is(unnamed.code, 64);
+  const unreachable = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1'], KEY);
+  t.is(unreachable.code, 75);
+  t.regex(unreachable.stderr, /nothing was changed/);
+  const withoutKey = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1']);
+  t.is(withoutKey.code, 64);
 });
 
-/** Fake daemons with one message between them, and an instance list that also names a dead one. */
-const startFleet = async () => {
+/** Starts two fake daemons linked by one message; the instance list also has an unreachable one. */
+const startDaemons = async () => {
   const app = fastify();
   const placed = { candidates: ['e1 score=1'], chosen: 'e1', reason: 'only one' };
-  const page = (process: string, events: readonly unknown[]) => ({
+  const buildPage = (process: string, events: readonly unknown[]) => ({
     process,
     role: 'entry',
     incarnation: '1',
     events,
   });
   app.get('/a/debug/events', () =>
-    page('a', [
+    buildPage('a', [
       buildEvent('a', 0, 9_000, { requestId: 'r', data: placed }, 'request-placed'),
       buildEvent('a', 1, 9_001, { requestId: 'r', endpoint: 'e1', sent: 'm1' }, 'attempt-started'),
       buildEvent('a', 2, 9_002, { entity: 'mv', data: { share: 0.05 } }, 'move-share-changed'),
     ]),
   );
   app.get('/b/debug/events', () =>
-    page('b', [buildEvent('b', 0, 1, { requestId: 'r', received: 'm1' }, 'generation-started')]),
+    buildPage('b', [
+      buildEvent('b', 0, 1, { requestId: 'r', received: 'm1' }, 'generation-started'),
+    ]),
   );
   app.get('/instances', (request) => {
     const base = `http://${request.headers.host ?? ''}`;
@@ -161,10 +164,10 @@
   return { url, close: () => app.close() };
 };
 
-// Guards against an unreachable daemon that hides the events of the others.
+// Guards against an unreachable daemon that prevents the events of the others from being shown.
 test('timeline and explain read all daemons and warn about a missing one', async (t) => {
-  const fleet = await startFleet();
-  const urls = ['--list-url', fleet.url, '--url', `${fleet.url}/a`];
+  const daemons = await startDaemons();
+  const urls = ['--list-url', daemons.url, '--url', `${daemons.url}/a`];
   const text = await runProgram(['timeline', ...urls, '--request', 'r']);
   t.is(text.code, 0);
   t.deepEqual(
@@ -172,18 +175,18 @@
     ['request-placed', 'attempt-started', 'generation-started'],
   );
   t.regex(text.stderr, /127\.0\.0\.1:1.* does not answer/);
-  const file = join(FOLDER, 'timeline.html');
+  const file = join(DIRECTORY, 'timeline.html');
   await runProgram(['timeline', ...urls, '--format', 'html', '--output', file]);
   t.regex(readFileSync(file, 'utf8'), /class="arrow message"/);
   const explained = await runProgram(['explain', 'r', ...urls, '--json']);
   t.like(JSON.parse(explained.stdout), { end: 'in-progress', placements: [{ chosen: 'e1' }] });
   const move = await runProgram(['explain', 'move', 'mv', ...urls]);
   t.regex(move.stdout, /^move mv: running\n {2}a move-share-changed: share 5\.0%/);
-  await fleet.close();
+  await daemons.close();
 });
 
-// Guards against a command that reads nothing and reports an empty but good result.
-test('without a source the command line is wrong, without an answer it may be tried again', async (t) => {
+// Guards against a command that could not read any events and reports an empty timeline as success.
+test('timeline exits with 64 without a source and with 75 when no source answers', async (t) => {
   t.is((await runProgram(['timeline'])).code, 64);
   t.is((await runProgram(['timeline', '--list-url', 'http://127.0.0.1:1'])).code, 75);
 });
