--- a/app/pageBlocks.ts
+++ b/app/pageBlocks.ts
@@ -1,24 +1,24 @@
 import { readFileSync } from 'node:fs';
 
-/** How a block of a page is run. */
+/** How a code block is executed. */
 export type BlockRun =
   | { readonly kind: 'commands'; readonly exitCode: number }
-  /** Each line is a process that serves until it is stopped. */
+  /** Each line starts a process that serves until it is stopped. */
   | { readonly kind: 'serve' }
   | { readonly kind: 'script' };
 
-/** A code block of a page that can be run. */
+/** An executable code block of a Markdown page. */
 export interface PageBlock {
   readonly page: string;
-  /** Line of the page on which the block starts, from 1. */
+  /** Line on which the block starts, from 1. */
   readonly line: number;
-  /** Heading above the block. */
+  /** Text of the nearest heading above the block. */
   readonly section: string;
   readonly run: BlockRun;
   readonly text: string;
 }
 
-const FENCE = /^```(?<language>\S+)[ ]?(?<mode>.*)\n(?<text>[^]*?)^```$/gm;
+const CODE_FENCE = /^```(?<language>\S+)[ ]?(?<mode>.*)\n(?<text>[^]*?)^```$/gm;
 
 const parseRun = (language: string, mode: string): BlockRun | undefined => {
   if (language === 'js') return { kind: 'script' };
@@ -32,15 +32,16 @@
 };
 
 /**
- * Reads the code blocks of a page that are marked `sh` or `js`; blocks of other languages, such as
- * `shell`, are shown and not run.
+ * Reads the code blocks of a Markdown page that are marked `sh` or `js`. Blocks of other languages,
+ * such as `shell`, are not executed.
  *
  * @param page - path of the page
- * @returns the blocks in the order of the page
+ * @returns the executable blocks in page order
+ * @throws Error when a `sh` block has an unknown mode
  */
 export const readBlocks = (page: string): readonly PageBlock[] => {
   const content = readFileSync(page, 'utf8');
-  return [...content.matchAll(FENCE)].flatMap(({ index, groups = {} }) => {
+  return [...content.matchAll(CODE_FENCE)].flatMap(({ index, groups = {} }) => {
     const run = parseRun(groups['language'] ?? '', groups['mode'] ?? '');
     if (run === undefined) return [];
     const before = content.slice(0, index);
--- a/app/pageRuns.ts
+++ b/app/pageRuns.ts
@@ -7,22 +7,22 @@
 import type { PageBlock } from './pageBlocks.js';
 import { assertNever } from '../packages/core/assertNever.js';
 
-/** Ports that the pages and the example settings name. */
+/** Ports that the pages and the example settings use. */
 const PAGE_PORTS = ['8080', '8081', '8090', '8180', '8181', '8190'] as const;
 
-/** Name of the command line, as the pages write it. */
-const COMMAND = 'chestnutspan() { node app/bin/chestnutspan.js "$@"; }';
+/** Shell function that defines the `chestnutspan` command used on the pages. */
+const COMMAND_FUNCTION = 'chestnutspan() { node app/bin/chestnutspan.js "$@"; }';
 
-/** Where the blocks of a page run. */
-export interface PageRun {
-  readonly folder: string;
+/** Environment in which the blocks of a page are executed. */
+export interface RunContext {
+  readonly directory: string;
   readonly environment: Readonly<Record<string, string>>;
-  /** Replaces the ports of the pages by free ones. */
-  readonly toFreePorts: (text: string) => string;
+  /** Replaces the ports in a string with free ones. */
+  readonly replacePorts: (text: string) => string;
 }
 
-/** A process of a block that serves. */
-export interface Served {
+/** A process started by a `serve` block. */
+export interface ServedProcess {
   readonly stop: () => Promise<number | null>;
 }
 
@@ -36,55 +36,56 @@
 };
 
 /**
- * Finds free ports for those of the pages.
+ * Picks a free port for each port that the pages use.
  *
- * @returns a function that replaces the ports in a text
+ * @returns a function that replaces the ports in a string
  */
-export const findFreePorts = async (): Promise<PageRun['toFreePorts']> => {
+export const createPortReplacer = async (): Promise<RunContext['replacePorts']> => {
   const free = await Promise.all(PAGE_PORTS.map(findFreePort));
-  const table = new Map(PAGE_PORTS.map((port, index) => [port as string, free[index] ?? port]));
-  return (text) => text.replace(/\b8\d{3}\b/g, (port) => table.get(port) ?? port);
+  const portMap = new Map(PAGE_PORTS.map((port, index) => [port as string, free[index] ?? port]));
+  return (text) => text.replace(/\b8\d{3}\b/g, (port) => portMap.get(port) ?? port);
 };
 
 /**
- * Prepares a folder that looks like the repository, with example settings on free ports.
+ * Builds a working directory with the layout of the repository, in which the example settings use
+ * free ports.
  *
- * @param run - folder, which exists, and ports
+ * @param context - existing directory and port replacement
  */
-export const buildFolder = ({ folder, toFreePorts }: PageRun): void => {
+export const buildDirectory = ({ directory, replacePorts }: RunContext): void => {
   const root = process.cwd();
-  const settings = join(folder, 'app/settings');
+  const settings = join(directory, 'app/settings');
   mkdirSync(settings, { recursive: true });
   cpSync('app/settings', settings, { recursive: true });
   for (const name of readdirSync(settings)) {
     const file = join(settings, name);
-    writeFileSync(file, toFreePorts(readFileSync(file, 'utf8')));
+    writeFileSync(file, replacePorts(readFileSync(file, 'utf8')));
   }
   for (const name of ['app/bin', 'dist', 'node_modules', 'package.json']) {
-    symlinkSync(join(root, name), join(folder, name));
+    symlinkSync(join(root, name), join(directory, name));
   }
 };
 
-const startShell = (
+const startChild = (
   argv: readonly string[],
-  { folder, environment }: PageRun,
+  { directory, environment }: RunContext,
   output: 'collected' | 'dropped',
 ) => {
   const [program = 'sh', ...rest] = argv;
   const stream = output === 'collected' ? 'pipe' : 'ignore';
   return spawn(program, rest, {
-    cwd: folder,
+    cwd: directory,
     env: { ...process.env, NODE_ENV: 'production', ...environment },
     stdio: ['pipe', 'pipe', stream],
   });
 };
 
-const runText = async (
+const runWithInput = async (
   argv: readonly string[],
   text: string,
-  run: PageRun,
+  context: RunContext,
 ): Promise<{ readonly code: number | null; readonly output: string }> => {
-  const child = startShell(argv, run, 'collected');
+  const child = startChild(argv, context, 'collected');
   let output = '';
   for (const stream of [child.stdout, child.stderr]) {
     stream?.on('data', (data: Buffer) => (output += data.toString()));
@@ -94,9 +95,9 @@
   return { code, output };
 };
 
-/** Waits for the addresses that the process prints, or for its early end. */
-const startServing = async (line: string, run: PageRun): Promise<Served> => {
-  const child = startShell(['sh', '-c', `exec ${line}`], run, 'dropped');
+/** Starts a server and waits until it prints its addresses; rejects if it exits before. */
+const startServer = async (line: string, context: RunContext): Promise<ServedProcess> => {
+  const child = startChild(['sh', '-c', `exec ${line}`], context, 'dropped');
   const exited = once(child, 'exit') as Promise<[number | null]>;
   const started = once(child.stdout ?? child, 'data').then(() => 'started' as const);
   const first = await Promise.race([started, exited.then(([code]) => code)]);
@@ -111,37 +112,40 @@
   };
 };
 
-const formatPlace = ({ page, line }: PageBlock): string => `${page}:${line.toString()}`;
+const formatLocation = ({ page, line }: PageBlock): string => `${page}:${line.toString()}`;
 
-const assertCode = (
+const assertExitCode = (
   block: PageBlock,
   expected: number,
   { code, output }: { readonly code: number | null; readonly output: string },
 ): void => {
   if (code === expected) return;
-  const found = `ended with ${String(code)}, not ${expected.toString()}`;
-  throw new Error(`the code block at ${formatPlace(block)} ${found}\n${output}`);
+  const mismatch = `ended with ${String(code)}, not ${expected.toString()}`;
+  throw new Error(`the code block at ${formatLocation(block)} ${mismatch}\n${output}`);
 };
 
 /**
- * Runs one block of a page.
+ * Executes one block of a page.
  *
- * @param block - block of the page
- * @param run - where it runs
- * @returns the processes that it left running
- * @throws when an exit code is not the one that the block names
+ * @param block - block to execute
+ * @param context - directory, environment variables and ports
+ * @returns the server processes that the block started
+ * @throws Error when an exit code differs from the expected one, or a server exits early
  */
-export const runBlock = async (block: PageBlock, run: PageRun): Promise<readonly Served[]> => {
-  const text = run.toFreePorts(block.text);
+export const runBlock = async (
+  block: PageBlock,
+  context: RunContext,
+): Promise<readonly ServedProcess[]> => {
+  const text = context.replacePorts(block.text);
   switch (block.run.kind) {
     case 'commands': {
-      const ended = await runText(['sh', '-e'], `${COMMAND}\n${text}`, run);
-      assertCode(block, block.run.exitCode, ended);
+      const result = await runWithInput(['sh', '-e'], `${COMMAND_FUNCTION}\n${text}`, context);
+      assertExitCode(block, block.run.exitCode, result);
       return [];
     }
     case 'script': {
-      const ended = await runText(['node', '--input-type=module', '-'], text, run);
-      assertCode(block, 0, ended);
+      const result = await runWithInput(['node', '--input-type=module', '-'], text, context);
+      assertExitCode(block, 0, result);
       return [];
     }
     case 'serve':
@@ -149,7 +153,7 @@
         text
           .trim()
           .split('\n')
-          .map((line) => startServing(line, run)),
+          .map((line) => startServer(line, context)),
       );
     default:
       return assertNever(block.run);
--- a/app/pages.test.ts
+++ b/app/pages.test.ts
@@ -6,37 +6,37 @@
 import type { ReadyLine } from './demo/readyLine.js';
 import { readBlocks } from './pageBlocks.js';
 import type { PageBlock } from './pageBlocks.js';
-import { findFreePorts, buildFolder, runBlock } from './pageRuns.js';
-import type { PageRun, Served } from './pageRuns.js';
+import { createPortReplacer, buildDirectory, runBlock } from './pageRuns.js';
+import type { RunContext, ServedProcess } from './pageRuns.js';
 import { runServing } from './testing.js';
 
-const createRun = async (
+const createContext = async (
   t: ExecutionContext,
-  environment: PageRun['environment'] = {},
-): Promise<PageRun> => {
-  const folder = mkdtempSync(join(tmpdir(), 'chestnutspan-pages-'));
+  environment: RunContext['environment'] = {},
+): Promise<RunContext> => {
+  const directory = mkdtempSync(join(tmpdir(), 'chestnutspan-pages-'));
   t.teardown(() => {
-    rmSync(folder, { recursive: true, force: true });
+    rmSync(directory, { recursive: true, force: true });
   });
-  const run = { folder, environment, toFreePorts: await findFreePorts() };
-  buildFolder(run);
-  return run;
+  const context = { directory, environment, replacePorts: await createPortReplacer() };
+  buildDirectory(context);
+  return context;
 };
 
-/** Runs blocks one after the other, and ends what they left running. */
+/** Executes blocks in sequence, then stops the servers that they started. */
 const runBlocks = async (
   t: ExecutionContext,
   blocks: readonly PageBlock[],
-  run: PageRun,
+  context: RunContext,
 ): Promise<void> => {
-  const serving: Served[] = [];
+  const servers: ServedProcess[] = [];
   try {
-    for (const block of blocks) serving.push(...(await runBlock(block, run)));
+    for (const block of blocks) servers.push(...(await runBlock(block, context)));
   } finally {
-    const codes = await Promise.all(serving.map(({ stop }) => stop()));
+    const codes = await Promise.all(servers.map(({ stop }) => stop()));
     t.deepEqual(
       codes,
-      serving.map(() => 0),
+      servers.map(() => 0),
     );
   }
 };
@@ -49,20 +49,20 @@
   return [...sections.values()];
 };
 
-// Guards against a first use that a new user cannot repeat as the page shows it.
+// Guards against a README whose commands fail for a new user.
 test('the commands of README.md run', async (t) => {
   const blocks = readBlocks('README.md');
   t.true(blocks.some(({ run }) => run.kind === 'script'));
-  await runBlocks(t, blocks, await createRun(t));
+  await runBlocks(t, blocks, await createContext(t));
 });
 
-// Guards against tasks of operators that the commands no longer do as the page shows them.
+// Guards against an operators' page whose commands no longer work.
 test('the commands of docs/OPERATORS.md run against a demo', async (t) => {
   const sections = listSections(readBlocks('docs/OPERATORS.md'));
   t.true(sections.length > 3);
   const code = await runServing(['demo', '--keep', '--json'], async (line) => {
     const ready = JSON.parse(line) as ReadyLine;
-    const run = await createRun(t, {
+    const context = await createContext(t, {
       CALLERS_URL: ready.baseUrl,
       CUSTOMER_KEY: ready.customerKey,
       OPERATOR_URL: ready.operatorUrl,
@@ -70,33 +70,33 @@
       LIST_URL: ready.standinUrls['platform'] ?? '',
       MODEL: ready.model,
     });
-    // Sections do not depend on each other; the blocks of one section do.
-    await Promise.all(sections.map((blocks) => runBlocks(t, blocks, run)));
+    // Sections are independent; the blocks of one section depend on each other.
+    await Promise.all(sections.map((blocks) => runBlocks(t, blocks, context)));
   });
   t.is(code, 0);
 });
 
-// Guards against commands for developers that the repository no longer has.
+// Guards against a CONTRIBUTING.md that names commands which the repository no longer has.
 test('the commands of CONTRIBUTING.md run', async (t) => {
-  const run = { ...(await createRun(t)), folder: process.cwd() };
-  await runBlocks(t, readBlocks('CONTRIBUTING.md'), run);
+  const context = { ...(await createContext(t)), directory: process.cwd() };
+  await runBlocks(t, readBlocks('CONTRIBUTING.md'), context);
 });
 
-// Guards against a check of the pages that passes whatever the commands do.
-test('a block with another exit code, an unknown mode or an early end fails', async (t) => {
-  const run = await createRun(t);
-  const page = join(run.folder, 'page.md');
+// Guards against page tests that pass although a command fails.
+test('a block with an unexpected exit code, an unknown mode or a server that exits early fails', async (t) => {
+  const context = await createContext(t);
+  const page = join(context.directory, 'page.md');
   const writePage = (mode: string, command: string): void => {
     writeFileSync(page, `# Page\n\n\`\`\`${mode}\n${command}\n\`\`\`\n`);
   };
   writePage('sh exit=75', 'true');
-  await t.throwsAsync(() => runBlocks(t, readBlocks(page), run), {
+  await t.throwsAsync(() => runBlocks(t, readBlocks(page), context), {
     message: /page\.md:3 ended with 0, not 75/,
   });
   writePage('sh', 'false\ntrue');
-  await t.throwsAsync(() => runBlocks(t, readBlocks(page), run), { message: /ended with 1/ });
+  await t.throwsAsync(() => runBlocks(t, readBlocks(page), context), { message: /ended with 1/ });
   writePage('sh serve', 'false');
-  await t.throwsAsync(() => runBlocks(t, readBlocks(page), run), { message: /"false" ended/ });
+  await t.throwsAsync(() => runBlocks(t, readBlocks(page), context), { message: /"false" ended/ });
   writePage('sh skip', 'true');
   t.throws(() => readBlocks(page), { message: /mode "skip" is not known/ });
 });
--- a/app/testing.ts
+++ b/app/testing.ts
@@ -1,8 +1,8 @@
 import { execFile, spawn } from 'node:child_process';
 import { once } from 'node:events';
 
-/** How a run of the command line ended. */
-export interface Ended {
+/** Exit code and output of a finished run of the command line. */
+export interface ProgramResult {
   readonly code: number;
   readonly stdout: string;
   readonly stderr: string;
@@ -11,16 +11,16 @@
 const PROGRAM = 'app/bin/chestnutspan.js';
 
 /**
- * Runs the command line in a process of its own, for tests.
+ * Runs the command line in a child process, for tests.
  *
  * @param argv - arguments
- * @param environment - variables added to those of the test
- * @returns exit code and outputs
+ * @param environment - variables added to the environment of the test
+ * @returns exit code (-1 after a signal) and output
  */
 export const runProgram = (
   argv: readonly string[],
   environment: Readonly<Record<string, string>> = {},
-): Promise<Ended> =>
+): Promise<ProgramResult> =>
   new Promise((resolve) => {
     const env = { ...process.env, NODE_ENV: 'production', ...environment };
     const child = execFile(
@@ -34,11 +34,11 @@
   });
 
 /**
- * Starts a serving command, hands its first line of output to `use` and stops it with SIGTERM.
+ * Starts a command that serves, passes its first line of output to `use` and stops it with SIGTERM.
  *
  * @param argv - arguments
- * @param use - works with the served addresses
- * @returns exit code after SIGTERM
+ * @param use - receives the line with the addresses
+ * @returns exit code after SIGTERM; null if the signal killed the process
  */
 export const runServing = async (
   argv: readonly string[],
