Reword the output, the serving commands and the demo

"Something that serves" is now RunningServer, and waitForEnd is waitForShutdown. Comments spoke of the "form" of data and "what ends the process"; they now name the output format, the signals and the exit codes. The demo's failure messages say what the call returned.

--- a/app/checkSettings.ts
+++ b/app/checkSettings.ts
@@ -4,17 +4,17 @@
 import type { SettingsKind, SettingsProblem } from '../packages/settings/types.js';
 
 const formatProblem = (file: string, problem: SettingsProblem): string => {
-  const place = `${file}:${problem.line.toString()}:${problem.column.toString()}`;
+  const location = `${file}:${problem.line.toString()}:${problem.column.toString()}`;
   const path = problem.path === '' ? '' : ` ${problem.path}:`;
-  return `${place}:${path} ${problem.expected}`;
+  return `${location}:${path} ${problem.expected}`;
 };
 
 /**
- * Describes a settings file that was refused.
+ * Builds the outcome for an invalid settings file.
  *
  * @param file - path of the file
- * @param problems - its faults
- * @returns the outcome for bad settings
+ * @param problems - errors in the file
+ * @returns a failure whose message has one line for each error
  */
 export const describeProblems = (
   file: string,
@@ -27,14 +27,14 @@
 });
 
 /**
- * Checks a settings file and starts nothing.
+ * Validates a settings file without starting a daemon.
  *
  * @param file - path of the file
- * @param given - daemon that the file is for; found from its fields when not given
- * @returns the outcome of the check
+ * @param requestedKind - daemon that the file is for; detected from its fields when undefined
+ * @returns the outcome of the validation
  */
-export const checkSettings = (file: string, given?: SettingsKind): CommandOutcome => {
-  const kind = given === undefined ? findSettingsKind(file) : Ok(given);
+export const checkSettings = (file: string, requestedKind?: SettingsKind): CommandOutcome => {
+  const kind = requestedKind === undefined ? findSettingsKind(file) : Ok(requestedKind);
   if (kind.isErr()) return describeProblems(file, kind.error);
   const settings = loadSettings(file, kind.value);
   if (settings.isErr()) return describeProblems(file, settings.error);
--- a/app/demo/readyLine.ts
+++ b/app/demo/readyLine.ts
@@ -1,6 +1,6 @@
 import type { Cluster } from '../../packages/cluster/types.js';
 
-/** The one line that `demo --keep --json` prints when the system serves. */
+/** Line that `demo --keep --json` prints when the system is ready. */
 export interface ReadyLine {
   readonly baseUrl: string;
   readonly entryUrls: readonly string[];
@@ -8,13 +8,13 @@
   readonly customerKey: string;
   readonly operatorKey: string;
   readonly model: string;
-  /** `ledger` is the inspection address of the ledger stand-in. */
+  /** Base URLs by name; `ledger` is the inspection URL of the ledger stand-in. */
   readonly standinUrls: Readonly<Record<string, string>>;
   readonly pids: Readonly<Record<string, number>>;
 }
 
 /**
- * Builds the description of a running system for scripts.
+ * Builds the description of a running system that scripts read.
  *
  * @param cluster - running system
  * @returns addresses, keys and process ids
@@ -38,10 +38,10 @@
 };
 
 /**
- * Renders the description for people.
+ * Renders the description as text.
  *
- * @param line - description
- * @returns lines of text
+ * @param line - description of the running system
+ * @returns one line for each address, key and process
  */
 export const renderReadyText = (line: ReadyLine): string =>
   [
--- a/app/demo/runDemo.ts
+++ b/app/demo/runDemo.ts
@@ -4,7 +4,7 @@
 import type { StepReport } from './types.js';
 import { fetchLogs } from '../clients/debugPages.js';
 import type { CommandOutcome, OutputFormat } from '../output.js';
-import { waitForEnd } from '../serving.js';
+import { waitForShutdown } from '../serving.js';
 import { startCluster } from '../../packages/cluster/startCluster.js';
 import type { Cluster, ClusterOptions } from '../../packages/cluster/types.js';
 import { mergeTimelines } from '../../packages/timeline/merge.js';
@@ -67,18 +67,18 @@
 };
 
 /**
- * Starts the system, shows its main promises on three calls and stops it.
+ * Starts the system, demonstrates its main guarantees with three calls and stops it.
  *
- * @param port - port of the callers' interface; 0 takes a free one
- * @returns the time line and the summary, or what failed
+ * @param port - port of the callers' interface; 0 picks a free one
+ * @returns the timeline and the summary, or what failed
  */
 export const runDemo = async (port: number): Promise<CommandOutcome> => {
-  const end = waitForEnd('ignored');
+  const shutdown = waitForShutdown('ignored');
   const startedAt = performance.now();
   const cluster = await startSystem(port);
   try {
     const steps = performSteps(cluster, performance.now() - startedAt);
-    return await Promise.race([steps, end.then(() => INTERRUPTED)]);
+    return await Promise.race([steps, shutdown.then(() => INTERRUPTED)]);
   } finally {
     await stopSystem(cluster);
   }
@@ -87,15 +87,15 @@
 /**
  * Starts the system, prints its addresses and keys, and serves until SIGINT or SIGTERM.
  *
- * @param port - port of the callers' interface; 0 takes a free one
- * @param format - one JSON line, or text
+ * @param port - port of the callers' interface; 0 picks a free one
+ * @param format - one line of JSON, or text
  */
 export const serveDemo = async (port: number, format: OutputFormat): Promise<void> => {
-  const end = waitForEnd('ignored');
+  const shutdown = waitForShutdown('ignored');
   const cluster = await startSystem(port);
   const line = buildReadyLine(cluster);
   const text = format === 'json' ? JSON.stringify(line) : renderReadyText(line);
   process.stdout.write(`${text}\n`);
-  await end;
+  await shutdown;
   await stopSystem(cluster);
 };
--- a/app/demo/shortTimeline.ts
+++ b/app/demo/shortTimeline.ts
@@ -2,7 +2,7 @@
 import { describeEvent } from '../../packages/timeline/renderText.js';
 import type { MergedEvent } from '../../packages/timeline/types.js';
 
-/** Width of a terminal, beyond which a line of the time line is cut. */
+/** Width of a terminal in characters; longer lines of the timeline are truncated. */
 const LINE_WIDTH = 160;
 
 const renderLine = ({ event, estimatedAt }: MergedEvent, startedAt: number): string => {
@@ -12,17 +12,19 @@
 };
 
 const renderStep = (events: readonly MergedEvent[], report: StepReport): readonly string[] => {
-  const own = events.filter(({ event }) => report.requestIds.includes(event.requestId ?? ''));
-  const startedAt = own[0]?.estimatedAt ?? 0;
-  return [`${report.step}:`, ...own.map((event) => renderLine(event, startedAt))];
+  const stepEvents = events.filter(({ event }) =>
+    report.requestIds.includes(event.requestId ?? ''),
+  );
+  const startedAt = stepEvents[0]?.estimatedAt ?? 0;
+  return [`${report.step}:`, ...stepEvents.map((event) => renderLine(event, startedAt))];
 };
 
 /**
- * Renders the events of the demo's requests over all processes, one line each.
+ * Renders the events of the demo's requests from all processes, one per line.
  *
  * @param events - merged events of all daemons
  * @param reports - steps whose requests are shown
- * @returns lines, with the time since the first event of each step
+ * @returns text; times are relative to the first event of each step
  */
 export const renderShortTimeline = (
   events: readonly MergedEvent[],
--- a/app/demo/steps.ts
+++ b/app/demo/steps.ts
@@ -39,13 +39,16 @@
   }
 };
 
-/** The stand-in's first token names the generation and the others their number. */
+/**
+ * Checks that all tokens are there in order. The engine stand-in sends the id of the generation as
+ * the first token, then `w1`, `w2` and so on.
+ */
 const checkTokens = ({ texts, end }: ReadStream): Result<string, string> => {
   if (end.kind !== 'done') return Err(`the generation ${describeEnd(end)}`);
   const words = texts.join('').trim().split(' ');
   const inOrder = words.slice(1).every((word, index) => word === `w${(index + 1).toString()}`);
   if (!inOrder || words.length !== DEMO_TOKENS) {
-    return Err(`the generation has wrong tokens: ${words.join(' ')}`);
+    return Err(`the generation returned unexpected tokens: ${words.join(' ')}`);
   }
   return Ok(words[0] ?? '');
 };
@@ -78,7 +81,7 @@
   const path = '/services/ledger/balances/caroni';
   const answer = await sendCall(buildTarget(cluster), { method: 'GET', path });
   const durationMs = performance.now() - startedAt;
-  if (answer.status !== 200) return Err(`the lookup got ${describeAnswer(answer)}`);
+  if (answer.status !== 200) return Err(`the lookup returned ${describeAnswer(answer)}`);
   return Ok({
     step: 'lookup',
     durationMs,
@@ -100,10 +103,12 @@
   const second = await sendCall(buildTarget(cluster), call);
   const durationMs = performance.now() - startedAt;
   for (const answer of [first, second]) {
-    if (answer.status !== 201) return Err(`the sweep got ${describeAnswer(answer)}`);
+    if (answer.status !== 201) return Err(`the sweep returned ${describeAnswer(answer)}`);
   }
   if (first.text !== second.text) {
-    return Err(`one key got two answers: ${first.text} and ${second.text}`);
+    return Err(
+      `the same idempotency key returned two different answers: ${first.text} and ${second.text}`,
+    );
   }
   const inspectionUrl = Object.values(cluster.standinUrls.ledgers)[0]?.inspection ?? '';
   const count = await countExecutions(inspectionUrl, idempotencyKey);
@@ -112,18 +117,18 @@
     step: 'non-repeatable-call',
     durationMs,
     requestIds: [first.requestId, second.requestId],
-    text: 'sent one sweep twice with the same key: it ran once, and both got the same answer',
+    text: 'sent one sweep twice with the same idempotency key: it ran once, and both calls returned the same answer',
   });
 };
 
 const STEPS = [streamGeneration, performLookup, sendSweepTwice] as const;
 
 /**
- * Runs the steps of the demo one after the other.
+ * Runs the steps of the demo in sequence and stops at the first failure.
  *
  * @param cluster - running system
- * @param onReport - receives each finished step
- * @returns all reports, or the first failure
+ * @param onReport - called after each finished step
+ * @returns the reports of all steps, or the message of the first failure
  */
 export const runSteps = async (
   cluster: Cluster,
--- a/app/demo/types.ts
+++ b/app/demo/types.ts
@@ -1,11 +1,11 @@
 import type { Millis } from '../../packages/core/clock.js';
 
-/** One thing that the demo showed. */
+/** Result of one step of the demo. */
 export interface StepReport {
   readonly step: 'generation' | 'lookup' | 'non-repeatable-call';
   readonly durationMs: Millis;
-  /** Requests of the step, for the time line. */
+  /** Requests of the step; the timeline shows their events. */
   readonly requestIds: readonly string[];
-  /** Sentence for people. */
+  /** Summary of the step for the text output. */
   readonly text: string;
 }
--- a/app/help.ts
+++ b/app/help.ts
@@ -2,7 +2,7 @@
 import type { Command } from '@oclif/core';
 import { listExitCodes } from './exitCodes.js';
 
-/** Help with the exit codes; oclif takes a subclass of its own help. */
+/** Adds the exit codes to the help texts; oclif loads a subclass of its own help class. */
 export default class HelpWithExitCodes extends Help {
   override formatRoot(): string {
     return `${super.formatRoot()}\n\n${this.formatExitCodes()}`;
--- a/app/main.ts
+++ b/app/main.ts
@@ -3,22 +3,23 @@
 
 const printError = (error: unknown): void => {
   if (error instanceof Errors.ExitError) return;
-  const usage = error instanceof Errors.CLIError;
-  const text = error instanceof Error ? (usage ? error.message : error.stack) : String(error);
+  const isUsageError = error instanceof Errors.CLIError;
+  const text =
+    error instanceof Error ? (isUsageError ? error.message : error.stack) : String(error);
   process.stderr.write(`${text ?? ''}\n`);
 };
 
 /**
- * Runs one command and sets the exit code of the process.
+ * Runs one command and sets the process's exit code.
  *
- * @param argv - arguments after the program's name
- * @param location - URL of the program, from which package.json is found
+ * @param argv - arguments after the program name
+ * @param moduleUrl - URL of the program, from which package.json is found
  */
-export const runCommandLine = async (argv: readonly string[], location: string): Promise<void> => {
-  // Commands are always the compiled ones; oclif must not look for a TypeScript loader.
+export const runCommandLine = async (argv: readonly string[], moduleUrl: string): Promise<void> => {
+  // Only compiled commands are run, so oclif must not look for a TypeScript loader.
   settings.enableAutoTranspile = false;
   try {
-    await run([...argv], location);
+    await run([...argv], moduleUrl);
     await flush();
   } catch (error) {
     printError(error);
--- a/app/optionalFields.ts
+++ b/app/optionalFields.ts
@@ -1,11 +1,11 @@
-/** The same fields, where a missing one is left out in place of undefined. */
+/** The same fields, all optional and without undefined values. */
 type Present<Fields> = { readonly [Name in keyof Fields]?: Exclude<Fields[Name], undefined> };
 
 /**
- * Leaves out the fields without a value, such as flags that were not given.
+ * Removes the fields that are undefined, such as flags that were not given.
  *
- * @param fields - fields, some of them undefined
- * @returns the others
+ * @param fields - object whose fields may be undefined
+ * @returns a copy with the defined fields only
  */
 export const selectPresent = <Fields extends object>(fields: Fields): Present<Fields> =>
   Object.fromEntries(
--- a/app/output.ts
+++ b/app/output.ts
@@ -2,13 +2,13 @@
 import type { ExitReason } from './exitCodes.js';
 import { assertNever } from '../packages/core/assertNever.js';
 
-/** What a command prints and how it ends. */
+/** Result of a command: what it prints and which exit code it selects. */
 export type CommandOutcome =
   | {
       readonly kind: 'done';
       readonly text: string;
       readonly data: unknown;
-      /** What makes the data partial. */
+      /** Reasons why the data is incomplete. */
       readonly warnings?: readonly string[];
     }
   | {
@@ -18,7 +18,7 @@
       readonly data?: unknown;
     };
 
-/** For people, or one JSON document for machines. */
+/** Text for people, or one JSON document for programs. */
 export type OutputFormat = 'text' | 'json';
 
 interface Output {
@@ -33,8 +33,8 @@
  * Renders the outcome of a command. Data goes to standard output and messages to standard error.
  *
  * @param outcome - outcome of the command
- * @param format - form of the data
- * @returns the texts of both outputs and the exit code
+ * @param format - format of the data
+ * @returns the content of both output streams and the exit code
  */
 export const renderOutcome = (outcome: CommandOutcome, format: OutputFormat): Output => {
   switch (outcome.kind) {
@@ -57,7 +57,7 @@
 };
 
 /**
- * Prints the outcome of a command and sets the exit code of the process.
+ * Prints the outcome of a command and sets the process's exit code.
  *
  * @param outcome - outcome of the command
  * @param json - value of the `--json` flag
--- a/app/runDaemon.ts
+++ b/app/runDaemon.ts
@@ -2,23 +2,23 @@
 import { EXIT_CODES } from './exitCodes.js';
 import { printOutcome } from './output.js';
 import { serveUntilSignal } from './serving.js';
-import type { Serving, ServingFlags } from './serving.js';
+import type { RunningServer, ServingFlags } from './serving.js';
 import { loadSettings } from '../packages/settings/load.js';
 import type { SettingsByKind, SettingsKind } from '../packages/settings/types.js';
 
-/** A started daemon, which tells why it ended. */
-export interface RunningDaemon extends Serving {
+/** A running daemon that reports why it ended. */
+export interface RunningDaemon extends RunningServer {
   readonly ended: Promise<{ readonly kind: 'drained' | 'fault' }>;
 }
 
 /**
- * Runs a daemon until SIGINT or SIGTERM, or ends with the exit code for bad settings. After a fault
- * the process ends with the code for faults, and the platform replaces it.
+ * Runs a daemon until SIGINT or SIGTERM. Invalid settings end the process with exit code 78. After
+ * an internal fault the process exits with code 70, and the platform replaces it.
  *
- * @param kind - which daemon
- * @param file - its settings file
- * @param startDaemon - starts it with checked settings
- * @param flags - form of the addresses, and what ends the process
+ * @param kind - kind of daemon
+ * @param file - path of its settings file
+ * @param startDaemon - starts the daemon with validated settings
+ * @param flags - output format, and whether the end of standard input stops the daemon
  */
 export const runDaemon = async <Kind extends SettingsKind>(
   kind: Kind,
@@ -34,6 +34,6 @@
   const daemon = await startDaemon(settings.value);
   await serveUntilSignal(`${kind} daemon`, daemon, flags);
   const reason = await daemon.ended;
-  // A connection that a peer keeps open would otherwise keep the process alive.
+  // Exits explicitly, because a connection that a peer holds open would keep the process alive.
   process.exit(reason.kind === 'fault' ? EXIT_CODES.internal.code : undefined);
 };
--- a/app/serving.ts
+++ b/app/serving.ts
@@ -1,63 +1,64 @@
-/** Something that serves until it is stopped. */
-export interface Serving {
-  /** Address of each interface by its name. */
+/** A running server: a daemon or a stand-in. */
+export interface RunningServer {
+  /** Base URL of each interface, by name of the interface. */
   readonly urls: Readonly<Record<string, string>>;
   readonly stop: () => Promise<void>;
-  /** Resolves when it ended by itself. */
+  /** Resolves when the server ends without being stopped. */
   readonly ended?: Promise<unknown>;
 }
 
-/** Flags of every command that serves. */
+/** Parsed flags of every command that serves. */
 export interface ServingFlags {
   readonly json: boolean;
   readonly 'stop-with-input': boolean;
 }
 
-const END_SIGNALS = ['SIGINT', 'SIGTERM'] as const;
+const SHUTDOWN_SIGNALS = ['SIGINT', 'SIGTERM'] as const;
 
 /**
- * Waits for SIGINT or SIGTERM, or for the end of standard input if that is watched too.
+ * Waits for SIGINT, SIGTERM or, if it is watched, the end of standard input.
  *
- * @param input - whether the end of standard input counts
- * @param ended - resolves when there is nothing left to wait for
- * @returns a promise that resolves once; a second signal then ends the process at once
+ * @param stdin - whether the end of standard input also resolves the promise
+ * @param ended - also resolves the promise, for a server that ends on its own
+ * @returns a promise that resolves at the first of these; a second signal then kills the process
  */
-export const waitForEnd = (input: 'watched' | 'ignored', ended?: Promise<unknown>): Promise<void> =>
+export const waitForShutdown = (
+  stdin: 'watched' | 'ignored',
+  ended?: Promise<unknown>,
+): Promise<void> =>
   new Promise((resolve) => {
-    const handle = (): void => {
-      for (const signal of END_SIGNALS) process.off(signal, handle);
-      // An open standard input would keep the process alive.
-      if (input === 'watched') process.stdin.off('close', handle).destroy();
+    const handleShutdown = (): void => {
+      for (const signal of SHUTDOWN_SIGNALS) process.off(signal, handleShutdown);
+      // An open standard input would keep the process running.
+      if (stdin === 'watched') process.stdin.off('close', handleShutdown).destroy();
       resolve();
     };
-    for (const signal of END_SIGNALS) process.on(signal, handle);
-    if (input === 'watched') process.stdin.on('close', handle).resume();
-    void ended?.then(handle);
+    for (const signal of SHUTDOWN_SIGNALS) process.on(signal, handleShutdown);
+    if (stdin === 'watched') process.stdin.on('close', handleShutdown).resume();
+    void ended?.then(handleShutdown);
   });
 
-const formatUrls = (name: string, urls: Serving['urls']): string =>
+const formatUrls = (name: string, urls: RunningServer['urls']): string =>
   Object.entries(urls)
     .map(([role, url]) => `${name} serves ${role} on ${url}\n`)
     .join('');
 
 /**
- * Prints the addresses, waits for SIGINT or SIGTERM and stops in order.
+ * Prints the addresses, waits for SIGINT or SIGTERM and stops the server gracefully.
  *
- * @param name - what serves, for the text
- * @param serving - addresses and stop function
- * @param flags - form of the addresses, and what ends the process
+ * @param name - name of the server in the output
+ * @param server - running server
+ * @param flags - output format, and whether the end of standard input stops the server
  */
 export const serveUntilSignal = async (
   name: string,
-  serving: Serving,
+  server: RunningServer,
   flags: ServingFlags,
 ): Promise<void> => {
-  const end = waitForEnd(flags['stop-with-input'] ? 'watched' : 'ignored', serving.ended);
+  const shutdown = waitForShutdown(flags['stop-with-input'] ? 'watched' : 'ignored', server.ended);
   process.stdout.write(
-    flags.json
-      ? `${JSON.stringify({ name, urls: serving.urls })}\n`
-      : formatUrls(name, serving.urls),
+    flags.json ? `${JSON.stringify({ name, urls: server.urls })}\n` : formatUrls(name, server.urls),
   );
-  await end;
-  await serving.stop();
+  await shutdown;
+  await server.stop();
 };
