Reword the timeline and load commands

"explainFrom" hid that it fetches and merges events and is now describeMergedEvents; the overrides of a scenario were "changes".

--- a/app/commands/explain/index.ts
+++ b/app/commands/explain/index.ts
@@ -1,7 +1,7 @@
 import { Args, Command } from '@oclif/core';
 import { JSON_FLAG, SOURCE_FLAGS } from '../../flags.js';
 import { printOutcome } from '../../output.js';
-import { explainRequestFrom } from '../../timelineOutcomes.js';
+import { fetchRequestExplanation } from '../../timelineOutcomes.js';
 
 export default class ExplainRequest extends Command {
   static override summary = 'Explain what happened to one request and why.';
@@ -12,6 +12,6 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(ExplainRequest);
-    printOutcome(await explainRequestFrom(flags, args.request), flags.json);
+    printOutcome(await fetchRequestExplanation(flags, args.request), flags.json);
   }
 }
--- a/app/commands/explain/move.ts
+++ b/app/commands/explain/move.ts
@@ -1,7 +1,7 @@
 import { Args, Command } from '@oclif/core';
 import { JSON_FLAG, SOURCE_FLAGS } from '../../flags.js';
 import { printOutcome } from '../../output.js';
-import { explainMoveFrom } from '../../timelineOutcomes.js';
+import { fetchMoveExplanation } from '../../timelineOutcomes.js';
 
 export default class ExplainMove extends Command {
   static override summary = 'Explain what happened to one version move and why.';
@@ -12,6 +12,6 @@
 
   async run(): Promise<void> {
     const { args, flags } = await this.parse(ExplainMove);
-    printOutcome(await explainMoveFrom(flags, args.name), flags.json);
+    printOutcome(await fetchMoveExplanation(flags, args.name), flags.json);
   }
 }
--- a/app/loadOutcome.ts
+++ b/app/loadOutcome.ts
@@ -7,21 +7,21 @@
 import type { Scenario } from '../packages/load/scenario/types.js';
 import { writeReport } from '../packages/load/writeReport.js';
 
-/** What the command line changes in a scenario. */
-export interface LoadChanges {
+/** Fields of a scenario that command-line flags override. */
+export interface ScenarioOverrides {
   readonly seed?: number | undefined;
   readonly durationMs?: number | undefined;
   readonly policy?: string | undefined;
 }
 
-const applyChanges = (scenario: Scenario, changes: LoadChanges): Scenario => ({
+const applyOverrides = (scenario: Scenario, overrides: ScenarioOverrides): Scenario => ({
   ...scenario,
-  seed: changes.seed ?? scenario.seed,
-  durationMs: changes.durationMs ?? scenario.durationMs,
+  seed: overrides.seed ?? scenario.seed,
+  durationMs: overrides.durationMs ?? scenario.durationMs,
   policies:
-    changes.policy === undefined
+    overrides.policy === undefined
       ? scenario.policies
-      : scenario.policies.filter(({ kind }) => kind === changes.policy),
+      : scenario.policies.filter(({ kind }) => kind === overrides.policy),
 });
 
 const formatMs = (value: number): string => value.toFixed(1).padStart(9);
@@ -45,23 +45,23 @@
 };
 
 /**
- * Runs a scenario under its policies in turn, each on a fresh cluster of processes.
+ * Runs a scenario once for each of its policies, in sequence, each on a fresh cluster of processes.
  *
  * @param file - scenario file
- * @param changes - what the command line changes
- * @param output - folder for the result and the plots, if any
- * @returns the outcome; a violated promise makes it a failure
+ * @param overrides - fields of the scenario that are replaced
+ * @param output - directory for the result and the plots; undefined writes no files
+ * @returns the outcome; a violated guarantee makes it a failure
  */
 export const runScenario = async (
   file: string,
-  changes: LoadChanges,
+  overrides: ScenarioOverrides,
   output: string | undefined,
 ): Promise<CommandOutcome> => {
   const loaded = loadScenario(file);
   if (loaded.isErr()) return describeProblems(file, loaded.error);
-  const scenario = applyChanges(loaded.value, changes);
+  const scenario = applyOverrides(loaded.value, overrides);
   if (scenario.policies.length === 0) {
-    const message = `the scenario has no policy ${changes.policy ?? ''}`;
+    const message = `the scenario does not define the policy ${overrides.policy ?? ''}`;
     return { kind: 'failed', reason: 'usage', message };
   }
   const results = await runPolicies(scenario, async (policy) => {
@@ -74,6 +74,6 @@
   const text = [...results.map(formatResult), ...files.map((path) => `wrote ${path}`)].join('\n');
   const violations = results.reduce((sum, result) => sum + result.violations.length, 0);
   if (violations === 0) return { kind: 'done', text, data: { results, files } };
-  const message = `${violations.toString()} promise violations\n${text}`;
+  const message = `${violations.toString()} violations of guarantees\n${text}`;
   return { kind: 'failed', reason: 'internal', message, data: { results, files } };
 };
--- a/app/timelineOutcomes.ts
+++ b/app/timelineOutcomes.ts
@@ -10,16 +10,16 @@
 import type { TimelineFormat } from '../packages/timeline/renderTimeline.js';
 import type { EventSelection, MergedEvent } from '../packages/timeline/types.js';
 
-/** Flags of the commands that read events. */
+/** Parsed flags of the commands that read events. */
 export interface SourceFlags {
   readonly url?: readonly string[] | undefined;
   readonly 'list-url'?: string | undefined;
 }
 
-/** Form and place of a rendered time line. */
+/** Format and destination of a rendered timeline. */
 export interface TimelineOptions {
   readonly format: TimelineFormat;
-  /** File to write in place of standard output. */
+  /** File to write instead of standard output. */
   readonly output?: string | undefined;
 }
 
@@ -28,12 +28,19 @@
   ...(flags['list-url'] === undefined ? {} : { listUrl: flags['list-url'] }),
 });
 
-type Describe = (events: readonly MergedEvent[], missing: readonly string[]) => CommandOutcome;
+type DescribeEvents = (
+  events: readonly MergedEvent[],
+  missing: readonly string[],
+) => CommandOutcome;
 
-const explainFrom = async (flags: SourceFlags, describe: Describe): Promise<CommandOutcome> => {
+/** Fetches and merges events, and fails with `try-again` when no daemon returned any. */
+const describeMergedEvents = async (
+  flags: SourceFlags,
+  describe: DescribeEvents,
+): Promise<CommandOutcome> => {
   const { logs, missing } = await fetchLogs(toSources(flags));
   if (logs.length === 0) {
-    const message = ['no daemon gave its events', ...missing].join('\n');
+    const message = ['no daemon returned its events', ...missing].join('\n');
     return { kind: 'failed', reason: 'try-again', message };
   }
   return describe(mergeTimelines(logs), missing);
@@ -43,7 +50,7 @@
   const parts = Object.entries(selection).flatMap(([name, value]) =>
     value === undefined ? [] : [`${name} ${String(value)}`],
   );
-  return ['time line', ...parts].join(', ');
+  return ['timeline', ...parts].join(', ');
 };
 
 const writeDocument = (document: string, file: string, events: number): CommandOutcome => {
@@ -53,19 +60,19 @@
 };
 
 /**
- * Renders the merged events of daemons.
+ * Renders the merged events of several daemons.
  *
- * @param flags - where the events are read
+ * @param flags - daemons to read events from
  * @param selection - which events are shown
- * @param options - form and place of the result
- * @returns the time line; daemons that gave no events are warnings
+ * @param options - format and destination of the result
+ * @returns the timeline, with a warning for each daemon that returned no events
  */
 export const renderEvents = (
   flags: SourceFlags,
   selection: EventSelection,
   options: TimelineOptions,
 ): Promise<CommandOutcome> =>
-  explainFrom(flags, (merged, warnings) => {
+  describeMergedEvents(flags, (merged, warnings) => {
     const events = selectEvents(merged, selection);
     const document = renderTimeline(events, options.format, formatTitle(selection));
     const outcome: CommandOutcome =
@@ -76,31 +83,31 @@
   });
 
 /**
- * Explains a request from the events of daemons.
+ * Explains what happened to a request from the events of daemons.
  *
- * @param flags - where the events are read
- * @param requestId - the request
- * @returns the explanation
+ * @param flags - daemons to read events from
+ * @param requestId - id of the request
+ * @returns the explanation, with a warning for each daemon that returned no events
  */
-export const explainRequestFrom = (
+export const fetchRequestExplanation = (
   flags: SourceFlags,
   requestId: string,
 ): Promise<CommandOutcome> =>
-  explainFrom(flags, (merged, warnings) => {
+  describeMergedEvents(flags, (merged, warnings) => {
     const explanation = explainRequest(merged, requestId);
     const text = renderExplanationText(explanation);
     return { kind: 'done', text, data: { ...explanation, missing: warnings }, warnings };
   });
 
 /**
- * Explains a version move from the events of daemons.
+ * Explains what happened to a version move from the events of daemons.
  *
- * @param flags - where the events are read
+ * @param flags - daemons to read events from
  * @param name - name of the move
- * @returns the explanation
+ * @returns the explanation, with a warning for each daemon that returned no events
  */
-export const explainMoveFrom = (flags: SourceFlags, name: string): Promise<CommandOutcome> =>
-  explainFrom(flags, (merged, warnings) => {
+export const fetchMoveExplanation = (flags: SourceFlags, name: string): Promise<CommandOutcome> =>
+  describeMergedEvents(flags, (merged, warnings) => {
     const explanation = explainMove(merged, name);
     const text = renderMoveText(explanation);
     return { kind: 'done', text, data: { ...explanation, missing: warnings }, warnings };
