--- a/app/commands/config/check.ts
+++ b/app/commands/config/check.ts
@@ -4,14 +4,14 @@
 import { printOutcome } from '../../output.js';
 
 export default class ConfigCheck extends Command {
-  static override summary = 'Check a settings file; nothing is started.';
+  static override summary = 'Check a settings file without starting a daemon.';
   static override args = {
     file: Args.string({ description: 'Settings file, JSON with comments.', required: true }),
   };
   static override flags = {
     kind: Flags.option({
       options: ['entry', 'endpoint'] as const,
-      summary: 'Daemon that the file is for; found from its fields when not given.',
+      summary: 'Daemon that the file is for; detected from its fields when not given.',
     })(),
     json: JSON_FLAG,
   };
--- a/app/commands/data-centre/back.ts
+++ b/app/commands/data-centre/back.ts
@@ -4,7 +4,7 @@
 import { printOutcome } from '../../output.js';
 
 export default class DataCentreBack extends Command {
-  static override summary = 'Return a data centre to service; its share ramps up.';
+  static override summary = 'Return a data centre to service; its share of traffic ramps up.';
   static override args = {
     name: Args.string({ description: 'Name of the data centre.', required: true }),
   };
--- a/app/commands/data-centre/out.ts
+++ b/app/commands/data-centre/out.ts
@@ -4,7 +4,7 @@
 import { printOutcome } from '../../output.js';
 
 export default class DataCentreOut extends Command {
-  static override summary = 'Take a data centre out: it gets no new work.';
+  static override summary = 'Take a data centre out of service; it receives no new work.';
   static override args = {
     name: Args.string({ description: 'Name of the data centre.', required: true }),
   };
--- a/app/commands/demo.ts
+++ b/app/commands/demo.ts
@@ -3,11 +3,15 @@
 import { printOutcome } from '../output.js';
 
 export default class Demo extends Command {
-  static override summary = 'Start a whole system on loopback and show what it does.';
+  static override summary =
+    'Start a complete system on the loopback interface and run example calls.';
   static override description =
-    'Starts two entry daemons, three engines and a ledger service with their endpoint daemons as processes of their own, streams a generation, looks up a balance, sends one sweep twice, and prints the time line of the calls. With --keep it prints the addresses and keys and serves until SIGINT or SIGTERM.';
+    'Starts two entry daemons, three engines and a ledger service with their endpoint daemons as separate processes, streams a generation, looks up a balance, sends one sweep twice, and prints the timeline of the calls. With --keep it prints the addresses and keys and serves until SIGINT or SIGTERM.';
   static override flags = {
-    keep: Flags.boolean({ summary: 'Make no calls, and serve until a signal.', default: false }),
+    keep: Flags.boolean({
+      summary: 'Make no calls; serve until SIGINT or SIGTERM.',
+      default: false,
+    }),
     port: PORT_FLAG,
     json: JSON_FLAG,
   };
--- a/app/commands/standin/engine.ts
+++ b/app/commands/standin/engine.ts
@@ -4,22 +4,43 @@
 import { serveUntilSignal } from '../../serving.js';
 import type { EngineOptions } from '../../../packages/standins/engine/types.js';
 
-/** Start options that are whole numbers, by flag, with the smallest value. */
+/** Integer flags with their minimum; each sets one option of the engine. */
 const NUMBER_FLAGS = {
-  'memory-tokens': Flags.integer({ summary: 'Memory in tokens.', min: 1 }),
-  'warm-up-ms': Flags.integer({ summary: 'Time until the engine is ready.', min: 0 }),
-  'step-base-ms': Flags.integer({ summary: 'Time of one step of an empty batch.', min: 1 }),
-  'max-running': Flags.integer({ summary: 'Sequences in one batch at the most.', min: 1 }),
-  'cold-concurrency': Flags.integer({ summary: 'Sequences borne after the warm-up.', min: 1 }),
-  'warm-concurrency': Flags.integer({ summary: 'Sequences borne after the ramp.', min: 1 }),
-  'ramp-ms': Flags.integer({ summary: 'Time of the ramp after the warm-up.', min: 0 }),
-  'mean-output-tokens': Flags.integer({ summary: 'Mean length of outputs.', min: 1 }),
-  'load-lag-ms': Flags.integer({ summary: 'Interval of the published load figures.', min: 0 }),
+  'memory-tokens': Flags.integer({
+    summary: 'Memory for sequences and cached prefixes, in tokens.',
+    min: 1,
+  }),
+  'warm-up-ms': Flags.integer({
+    summary: 'Time from the start of the engine until it is ready.',
+    min: 0,
+  }),
+  'step-base-ms': Flags.integer({ summary: 'Duration of a step of an empty batch.', min: 1 }),
+  'max-running': Flags.integer({ summary: 'Largest number of sequences in the batch.', min: 1 }),
+  'cold-concurrency': Flags.integer({
+    summary: 'Sequences that the engine sustains when it becomes ready.',
+    min: 1,
+  }),
+  'warm-concurrency': Flags.integer({
+    summary: 'Sequences that the engine sustains at the end of the ramp.',
+    min: 1,
+  }),
+  'ramp-ms': Flags.integer({
+    summary: 'Time after the warm-up during which the concurrency limit grows.',
+    min: 0,
+  }),
+  'mean-output-tokens': Flags.integer({
+    summary: 'Mean output length of requests without a length.',
+    min: 1,
+  }),
+  'load-lag-ms': Flags.integer({
+    summary: 'Interval at which the load figures are updated.',
+    min: 0,
+  }),
 };
 
 type NumberFlags = Readonly<Partial<Record<keyof typeof NUMBER_FLAGS, number | undefined>>>;
 
-const toSizes = (flags: NumberFlags): EngineOptions =>
+const toEngineOptions = (flags: NumberFlags): EngineOptions =>
   selectPresent({
     memoryTokens: flags['memory-tokens'],
     warmUpMs: flags['warm-up-ms'],
@@ -33,14 +54,14 @@
   });
 
 export default class StandinEngine extends Command {
-  static override summary = 'Run the stand-in of a model engine until SIGINT or SIGTERM.';
+  static override summary = 'Run a stand-in for a model engine until SIGINT or SIGTERM.';
   static override flags = {
     port: PORT_FLAG,
     model: Flags.string({ summary: 'Model that the engine serves.' }),
     version: Flags.string({ summary: 'Version of the model.' }),
     fencing: Flags.option({
       options: ['checked', 'ignored'] as const,
-      summary: 'Whether control orders with an old fencing number are refused.',
+      summary: 'Whether control orders with a stale fencing number are refused.',
     })(),
     seed: Flags.integer({ summary: 'Seed of the output lengths.' }),
     ...NUMBER_FLAGS,
@@ -55,9 +76,9 @@
     const standin = await startEngineStandin({
       port,
       ...selectPresent({ model, version, fencing, seed }),
-      ...toSizes(flags),
+      ...toEngineOptions(flags),
     });
-    const serving = { urls: { engine: standin.url }, stop: standin.close };
-    await serveUntilSignal('engine stand-in', serving, flags);
+    const server = { urls: { engine: standin.url }, stop: standin.close };
+    await serveUntilSignal('engine stand-in', server, flags);
   }
 }
--- a/app/commands/standin/platform.ts
+++ b/app/commands/standin/platform.ts
@@ -5,12 +5,15 @@
 
 export default class StandinPlatform extends Command {
   static override summary =
-    'Run the stand-in of the platform (log, instance list, weight store) until SIGINT or SIGTERM.';
+    'Run a stand-in for the platform (log, instance list, weight store) until SIGINT or SIGTERM.';
   static override flags = {
     port: PORT_FLAG,
-    'appends-per-second': Flags.integer({ summary: 'Append requests taken a second.', min: 1 }),
-    'retention-records': Flags.integer({ summary: 'Records kept in each stream.', min: 1 }),
-    'list-lag-ms': Flags.integer({ summary: 'Lag of the instance list.', min: 0 }),
+    'appends-per-second': Flags.integer({
+      summary: 'Append requests that the log admits per second.',
+      min: 1,
+    }),
+    'retention-records': Flags.integer({ summary: 'Records that each stream keeps.', min: 1 }),
+    'list-lag-ms': Flags.integer({ summary: 'Age of the instance list that callers see.', min: 0 }),
     ...SERVING_FLAGS,
   };
 
@@ -26,7 +29,7 @@
         listLagMs: flags['list-lag-ms'],
       }),
     });
-    const serving = { urls: { platform: standin.url }, stop: standin.close };
-    await serveUntilSignal('platform stand-in', serving, flags);
+    const server = { urls: { platform: standin.url }, stop: standin.close };
+    await serveUntilSignal('platform stand-in', server, flags);
   }
 }
--- a/app/commands/standin/service.ts
+++ b/app/commands/standin/service.ts
@@ -3,16 +3,16 @@
 import { serveUntilSignal } from '../../serving.js';
 
 export default class StandinService extends Command {
-  static override summary = 'Run the stand-in of a plain service until SIGINT or SIGTERM.';
+  static override summary = 'Run a stand-in for a plain service until SIGINT or SIGTERM.';
   static override flags = {
     port: PORT_FLAG,
     'inspection-port': Flags.integer({
-      summary: 'Port of the inspection pages, which no fault reaches; 0 takes a free one.',
+      summary: 'Port of the inspection routes, which no fault affects; 0 picks a free one.',
       default: 0,
       min: 0,
       max: 65_535,
     }),
-    'call-ms': Flags.integer({ summary: 'Usual time of one call.', min: 0 }),
+    'call-ms': Flags.integer({ summary: 'Duration of a call without faults.', min: 0 }),
     ...SERVING_FLAGS,
   };
 
--- a/app/commands/targets/publish.ts
+++ b/app/commands/targets/publish.ts
@@ -8,7 +8,7 @@
 export default class TargetsPublish extends Command {
   static override summary = 'Publish the targets of the classes of work.';
   static override args = {
-    file: Args.string({ description: 'File of targets, JSON with comments.', required: true }),
+    file: Args.string({ description: 'Targets file, JSON with comments.', required: true }),
   };
   static override flags = {
     ...PUBLISH_FLAGS,
--- a/app/commands/timeline.ts
+++ b/app/commands/timeline.ts
@@ -4,7 +4,7 @@
 import { renderEvents } from '../timelineOutcomes.js';
 
 export default class Timeline extends Command {
-  static override summary = 'Merge the events of daemons into one causal order.';
+  static override summary = 'Merge the events of several daemons in causal order.';
   static override flags = {
     ...SOURCE_FLAGS,
     request: Flags.string({ summary: 'Show only events of this request.' }),
@@ -14,9 +14,9 @@
     format: Flags.option({
       options: ['text', 'json', 'html'] as const,
       default: 'text',
-      summary: 'Form of the time line; html is one page that needs no other file.',
+      summary: 'Format of the timeline; html is one self-contained page.',
     })(),
-    output: Flags.string({ summary: 'File to write in place of standard output.' }),
+    output: Flags.string({ summary: 'File to write instead of standard output.' }),
     json: JSON_FLAG,
   };
 
--- a/app/flags.ts
+++ b/app/flags.ts
@@ -2,19 +2,19 @@
 
 /** Flag of every command that prints data. */
 export const JSON_FLAG = Flags.boolean({
-  summary: 'Print one JSON document in place of text.',
+  summary: 'Print one JSON document instead of text.',
   default: false,
 });
 
-/** Flags of the commands that read the events of daemons; one of them must be given. */
+/** Flags of the commands that read events from daemons; at least one is required. */
 export const SOURCE_FLAGS = {
   url: Flags.string({
-    summary: 'Address of a daemon whose events are read.',
+    summary: 'Base URL of a daemon to read events from.',
     multiple: true,
     atLeastOne: ['url', 'list-url'],
   }),
   'list-url': Flags.string({
-    summary: "Address of the platform's instance list; all listed daemons are read.",
+    summary: "Base URL of the platform's instance list; reads the events of all listed daemons.",
     atLeastOne: ['url', 'list-url'],
   }),
 };
@@ -22,7 +22,8 @@
 /** Flags of every operator command. */
 export const OPERATOR_FLAGS = {
   'operator-url': Flags.string({
-    summary: 'Address of an entry daemon. The operator key is in CHESTNUTSPAN_OPERATOR_KEY.',
+    summary:
+      'Base URL of an entry daemon. The operator key is read from CHESTNUTSPAN_OPERATOR_KEY.',
     required: true,
   }),
   json: JSON_FLAG,
@@ -33,23 +34,23 @@
   ...OPERATOR_FLAGS,
   'dry-run': Flags.boolean({ summary: 'Show the change and publish nothing.', default: false }),
   'based-on': Flags.integer({
-    summary: 'Offset on which the change is based; what is in force now when not given.',
+    summary: 'Offset on which the change is based; defaults to the offset in force.',
     min: 0,
   }),
 };
 
 /** Flag of the commands that run a stand-in. */
 export const PORT_FLAG = Flags.integer({
-  summary: 'Port on 127.0.0.1; 0 takes a free one.',
+  summary: 'Port on 127.0.0.1; 0 picks a free one.',
   default: 0,
   min: 0,
   max: 65_535,
 });
 
-/** Flags of every command that serves until a signal. */
+/** Flags of every command that serves until SIGINT or SIGTERM. */
 export const SERVING_FLAGS = {
   'stop-with-input': Flags.boolean({
-    summary: 'Stop also when standard input ends, as when the tool that started the process dies.',
+    summary: 'Also stop when standard input ends, such as when the parent process dies.',
     default: false,
   }),
   json: JSON_FLAG,
