--- a/app/demo/steps.ts
+++ b/app/demo/steps.ts
@@ -14,7 +14,7 @@
 import { assertNever } from '../../packages/core/assertNever.js';
 import { createId } from '../../packages/core/ids.js';
 
-/** Length of the generation that the demo streams. */
+/** Length in tokens of the generation that the demo streams. */
 const DEMO_TOKENS = 48;
 
 type StepResult = Result<StepReport, string>;
--- a/app/timelineOutcomes.ts
+++ b/app/timelineOutcomes.ts
@@ -33,7 +33,7 @@
   missing: readonly string[],
 ) => CommandOutcome;
 
-/** Fetches and merges events, and fails with `try-again` when no daemon returned any. */
+/** Fetches and merges the events; the outcome is a failure when no daemon could be read. */
 const describeMergedEvents = async (
   flags: SourceFlags,
   describe: DescribeEvents,
