Rename the symbols of the benches to terms of the field

"Hold" named both a concurrency level and its report, "watch" a monitor, and "own" and "world" the placements and the settings of the endpoints; they are now CapacityReport, ConcurrencyReport, LoopDelayMonitor, placements and SharedEndpointSettings. Limits say what they limit: MAX_REPORTED_FAILURES, MAX_ERROR_TEXT_LENGTH, SAMPLE_PERIOD_MS. The fields of the JSON reports, the table headings and the flags keep their names.

--- a/packages/bench/callers/callersChild.test.ts
+++ b/packages/bench/callers/callersChild.test.ts
@@ -56,10 +56,10 @@
 // Guards against a run that ends before its last streams, which would load the next round.
 test('a run is done once its open streams have ended', (t) => {
   const { decide, receive, getState } = startCallers();
-  const atEnd = decide({ kind: 'measure-ended', stage: 0 });
-  t.false(atEnd.some(({ kind }) => kind === 'done'));
+  const effectsAtEnd = decide({ kind: 'measure-ended', stage: 0 });
+  t.false(effectsAtEnd.some(({ kind }) => kind === 'done'));
   receive(3);
-  const after = decide({ kind: 'stream-ended', caller: 0, end: { kind: 'whole' } });
-  t.deepEqual(after, [{ kind: 'done' }]);
+  const effectsAfterStream = decide({ kind: 'stream-ended', caller: 0, end: { kind: 'whole' } });
+  t.deepEqual(effectsAfterStream, [{ kind: 'done' }]);
   t.is(getState().finished, 1);
 });
--- a/packages/bench/callers/callersChild.ts
+++ b/packages/bench/callers/callersChild.ts
@@ -1,5 +1,5 @@
 import { createLatencyRecorder } from './latencies.js';
-import { FAILURES_KEPT } from '../constants.js';
+import { MAX_REPORTED_FAILURES } from '../constants.js';
 import type { BenchEffect, CallerId, CallersEvent, RunPlan, StageRecord } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -11,12 +11,12 @@
 interface OpenStream {
   readonly openedAt: Millis;
   tokens: number;
-  lastAt: Millis;
+  lastArrivalAt: Millis;
 }
 
 /** What the callers did so far; the tables are updated in place. */
 export interface CallersState {
-  readonly open: Map<CallerId, OpenStream>;
+  readonly openStreams: Map<CallerId, OpenStream>;
   readonly records: readonly StageRecord[];
   readonly failures: string[];
   failed: number;
@@ -40,15 +40,15 @@
 
 const startStage = (stage: number, plan: RunPlan, { random }: CallersInputs): Effects => {
   const { callers, rampMs, settleMs } = plan.stages[stage] as RunPlan['stages'][number];
-  const first = plan.stages[stage - 1]?.callers ?? 0;
-  const starts = Array.from({ length: callers - first }, (_, index) =>
-    scheduleCaller(first + index, random.next() * rampMs),
+  const firstNewCaller = plan.stages[stage - 1]?.callers ?? 0;
+  const startEffects = Array.from({ length: callers - firstNewCaller }, (_, index) =>
+    scheduleCaller(firstNewCaller + index, random.next() * rampMs),
   );
   const event = { to: 'callers', kind: 'measure-begun', stage } as const;
-  return [...starts, { kind: 'schedule', delayMs: rampMs + settleMs, event }];
+  return [...startEffects, { kind: 'schedule', delayMs: rampMs + settleMs, event }];
 };
 
-const startMeasure = (state: CallersState, stage: number, plan: RunPlan): Effects => {
+const startMeasurement = (state: CallersState, stage: number, plan: RunPlan): Effects => {
   state.phase = 'measuring';
   state.stage = stage;
   return [
@@ -62,37 +62,40 @@
   ];
 };
 
-const closeWhenIdle = (state: CallersState): Effects => {
-  if (state.phase !== 'ending' || state.open.size > 0) return [];
+const finishWhenIdle = (state: CallersState): Effects => {
+  if (state.phase !== 'ending' || state.openStreams.size > 0) return [];
   state.phase = 'done';
   return [{ kind: 'done' }];
 };
 
 const finishRun = (state: CallersState, plan: RunPlan): Effects => {
   state.phase = 'ending';
-  if (plan.ending === 'abandon-streams') state.open.clear();
-  return closeWhenIdle(state);
+  if (plan.ending === 'abandon-streams') state.openStreams.clear();
+  return finishWhenIdle(state);
 };
 
-const finishMeasure = (
+const finishMeasurement = (
   state: CallersState,
   stage: number,
   plan: RunPlan,
   inputs: CallersInputs,
 ): Effects => {
   state.phase = 'settling';
-  const ended: Effects = [
+  const stopEffects: Effects = [
     { kind: 'watch-client', stage, watch: 'end' },
     { kind: 'post', event: { to: 'samples', kind: 'ended', stage } },
   ];
   const isLast = stage + 1 === plan.stages.length;
-  return [...ended, ...(isLast ? finishRun(state, plan) : startStage(stage + 1, plan, inputs))];
+  return [
+    ...stopEffects,
+    ...(isLast ? finishRun(state, plan) : startStage(stage + 1, plan, inputs)),
+  ];
 };
 
 const openStream = (state: CallersState, caller: CallerId, inputs: CallersInputs): Effects => {
   if (state.phase === 'ending' || state.phase === 'done') return [];
   const openedAt = inputs.now();
-  state.open.set(caller, { openedAt, tokens: 0, lastAt: openedAt });
+  state.openStreams.set(caller, { openedAt, tokens: 0, lastArrivalAt: openedAt });
   return [{ kind: 'open-stream', caller }];
 };
 
@@ -105,20 +108,20 @@
   event: Extract<CallersEvent, { readonly kind: 'events-arrived' }>,
   plan: RunPlan,
 ): void => {
-  const stream = state.open.get(event.caller);
+  const stream = state.openStreams.get(event.caller);
   if (stream === undefined) return;
   const count = Math.min(event.count, plan.tokens - stream.tokens);
   if (count <= 0) return;
   const record = state.records[state.stage];
   if (state.phase === 'measuring' && record !== undefined) {
-    const sinceLast = event.at - stream.lastAt;
-    if (stream.tokens === 0) record.firstTokens.record(sinceLast);
-    else record.gaps.record(sinceLast);
+    const elapsedMs = event.at - stream.lastArrivalAt;
+    if (stream.tokens === 0) record.firstTokens.record(elapsedMs);
+    else record.gaps.record(elapsedMs);
     for (let index = 1; index < count; index += 1) record.gaps.record(0);
     record.tokens += count;
   }
   stream.tokens += count;
-  stream.lastAt = event.at;
+  stream.lastArrivalAt = event.at;
 };
 
 const closeStream = (
@@ -127,18 +130,18 @@
   plan: RunPlan,
   inputs: CallersInputs,
 ): Effects => {
-  const stream = state.open.get(event.caller);
+  const stream = state.openStreams.get(event.caller);
   if (stream === undefined) return [];
-  state.open.delete(event.caller);
-  const isWhole = event.end.kind === 'whole' && stream.tokens === plan.tokens;
-  if (isWhole) state.finished += 1;
+  state.openStreams.delete(event.caller);
+  const isComplete = event.end.kind === 'whole' && stream.tokens === plan.tokens;
+  if (isComplete) state.finished += 1;
   else {
     state.failed += 1;
     const reason = event.end.kind === 'failed' ? event.end.reason : 'the answer is too short';
-    const text = `caller ${event.caller.toString()} after ${stream.tokens.toString()} tokens: ${reason}`;
-    if (state.failures.length < FAILURES_KEPT) state.failures.push(text);
+    const failure = `caller ${event.caller.toString()} after ${stream.tokens.toString()} tokens: ${reason}`;
+    if (state.failures.length < MAX_REPORTED_FAILURES) state.failures.push(failure);
   }
-  if (state.phase === 'ending') return closeWhenIdle(state);
+  if (state.phase === 'ending') return finishWhenIdle(state);
   return [scheduleCaller(event.caller, inputs.random.next() * plan.maxPauseMs)];
 };
 
@@ -157,9 +160,9 @@
     case 'stream-ended':
       return closeStream(state, event, plan, inputs);
     case 'measure-begun':
-      return startMeasure(state, event.stage, plan);
+      return startMeasurement(state, event.stage, plan);
     case 'measure-ended':
-      return finishMeasure(state, event.stage, plan, inputs);
+      return finishMeasurement(state, event.stage, plan, inputs);
     default:
       return assertNever(event);
   }
@@ -185,7 +188,7 @@
   init: () =>
     toStep<CallersState, BenchEffect>(
       {
-        open: new Map(),
+        openStreams: new Map(),
         records: plan.stages.map(createRecord),
         failures: [],
         failed: 0,
--- a/packages/bench/callers/latencies.ts
+++ b/packages/bench/callers/latencies.ts
@@ -34,12 +34,12 @@
     highestTrackableValue: MAX_MEASURED_MS * MICROS_PER_MILLI,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
-  const read = (percentile: number): Millis =>
+  const getPercentile = (percentile: number): Millis =>
     histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
   return {
     record: (duration) => {
-      const bounded = Math.min(MAX_MEASURED_MS, Math.max(0, duration));
-      histogram.recordValue(Math.round(bounded * MICROS_PER_MILLI));
+      const boundedMs = Math.min(MAX_MEASURED_MS, Math.max(0, duration));
+      histogram.recordValue(Math.round(boundedMs * MICROS_PER_MILLI));
     },
     merge: (other) => {
       histogram.add(other.getHistogram());
@@ -47,8 +47,8 @@
     getPercentiles: () => ({
       count: histogram.totalCount,
       mean: histogram.totalCount === 0 ? 0 : histogram.mean / MICROS_PER_MILLI,
-      p50: read(50),
-      p99: read(99),
+      p50: getPercentile(50),
+      p99: getPercentile(99),
       max: histogram.maxValue / MICROS_PER_MILLI,
     }),
     getHistogram: () => histogram,
--- a/packages/bench/client/eventCounter.test.ts
+++ b/packages/bench/client/eventCounter.test.ts
@@ -9,9 +9,9 @@
   );
   const cuts = fc.array(fc.integer({ min: 0, max: stream.length }), { maxLength: 12 });
   fc.assert(
-    fc.property(cuts, (places) => {
+    fc.property(cuts, (offsets) => {
       const counter = createEventCounter();
-      const bounds = [0, ...places.sort((left, right) => left - right), stream.length];
+      const bounds = [0, ...offsets.sort((left, right) => left - right), stream.length];
       const counted = bounds
         .slice(1)
         .map((end, index) => counter.count(stream.subarray(bounds[index], end)))
--- a/packages/bench/client/eventCounter.ts
+++ b/packages/bench/client/eventCounter.ts
@@ -19,24 +19,24 @@
 export const createEventCounter = (): EventCounter => {
   /** Last bytes of the stream; an event end or the end mark may be cut in two. */
   let tail: Buffer = Buffer.alloc(0);
-  let last: 'line-end' | 'other' = 'other';
+  let lastByte: 'line-end' | 'other' = 'other';
   return {
     count: (bytes) => {
       if (bytes.length === 0) return 0;
       let events = 0;
       let from = 0;
-      if (last === 'line-end' && bytes[0] === NEWLINE) {
+      if (lastByte === 'line-end' && bytes[0] === NEWLINE) {
         events = 1;
         from = 1;
       }
       for (;;) {
-        const found = bytes.indexOf(EVENT_END, from);
-        if (found < 0) break;
+        const foundAt = bytes.indexOf(EVENT_END, from);
+        if (foundAt < 0) break;
         events += 1;
-        from = found + EVENT_END.length;
+        from = foundAt + EVENT_END.length;
       }
       // A newline that ended an event does not begin the end of the next one.
-      last = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
+      lastByte = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
       tail =
         bytes.length >= END_MARK.length
           ? bytes.subarray(-END_MARK.length)
--- a/packages/bench/client/loopDelay.ts
+++ b/packages/bench/client/loopDelay.ts
@@ -12,9 +12,9 @@
 }
 
 /** Measures the delay of this process's event loop. */
-export interface LoopDelayWatch {
-  readonly begin: () => void;
-  readonly end: () => LoopDelay;
+export interface LoopDelayMonitor {
+  readonly start: () => void;
+  readonly stop: () => LoopDelay;
 }
 
 /**
@@ -22,16 +22,16 @@
  *
  * @returns the watch, not running
  */
-export const createLoopDelayWatch = (): LoopDelayWatch => {
+export const createLoopDelayMonitor = (): LoopDelayMonitor => {
   const histogram = monitorEventLoopDelay({ resolution: LOOP_DELAY_RESOLUTION_MS });
   const toDelay = (nanos: number): Millis =>
     Math.max(0, nanos / NANOS_PER_MILLI - LOOP_DELAY_RESOLUTION_MS);
   return {
-    begin: () => {
+    start: () => {
       histogram.reset();
       histogram.enable();
     },
-    end: () => {
+    stop: () => {
       histogram.disable();
       return {
         p50: toDelay(histogram.percentile(50)),
--- a/packages/bench/client/streamClient.ts
+++ b/packages/bench/client/streamClient.ts
@@ -18,9 +18,9 @@
   readonly close: () => Promise<void>;
 }
 
-const PATH = '/v1/chat/completions';
+const COMPLETIONS_PATH = '/v1/chat/completions';
 
-const KEPT_TEXT = 300;
+const MAX_ERROR_TEXT_LENGTH = 300;
 
 /**
  * Builds the receiver of one answer. It takes the instant first and decodes nothing.
@@ -32,8 +32,8 @@
 ): Dispatcher.DispatchHandler => {
   const counter = createEventCounter();
   let status = 0;
-  let text = '';
-  const end = (result: StreamEnd): void => {
+  let errorText = '';
+  const postEnd = (result: StreamEnd): void => {
     post({ kind: 'stream-ended', caller, end: result });
   };
   return {
@@ -44,19 +44,20 @@
     onResponseData: (_controller, bytes) => {
       const at = now();
       if (status !== 200) {
-        text = `${text}${bytes.toString('utf8')}`.slice(0, KEPT_TEXT);
+        errorText = `${errorText}${bytes.toString('utf8')}`.slice(0, MAX_ERROR_TEXT_LENGTH);
         return;
       }
       const count = counter.count(bytes);
       if (count > 0) post({ kind: 'events-arrived', caller, count, at });
     },
     onResponseEnd: () => {
-      if (status !== 200) end({ kind: 'failed', reason: `status ${status.toString()}: ${text}` });
-      else if (counter.hasEndMark()) end({ kind: 'whole' });
-      else end({ kind: 'failed', reason: 'the stream ended without its end mark' });
+      if (status !== 200)
+        postEnd({ kind: 'failed', reason: `status ${status.toString()}: ${errorText}` });
+      else if (counter.hasEndMark()) postEnd({ kind: 'whole' });
+      else postEnd({ kind: 'failed', reason: 'the stream ended without its end mark' });
     },
     onResponseError: (_controller, error) => {
-      end({ kind: 'failed', reason: error.message });
+      postEnd({ kind: 'failed', reason: error.message });
     },
   };
 };
@@ -81,7 +82,7 @@
       agent.dispatch(
         {
           origin: origins[caller % origins.length] ?? '',
-          path: PATH,
+          path: COMPLETIONS_PATH,
           method: 'POST',
           headers: { 'content-type': 'application/json', ...headers },
           body: buildBody(caller),
--- a/packages/bench/clusters.ts
+++ b/packages/bench/clusters.ts
@@ -1,5 +1,5 @@
 import type { StreamTarget } from './client/streamClient.js';
-import type { SampledUrls } from './samples/fetchFigures.js';
+import type { MetricsUrls } from './samples/fetchFigures.js';
 import type { Route } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Cluster, ClusterOptions, EngineStandinOptions } from '../cluster/types.js';
@@ -30,7 +30,7 @@
 };
 
 /** 4 engines with 50 of 200 streams each: 30 ms for a step. */
-export const LATENCY_ENGINES = 4;
+export const LATENCY_ENGINE_COUNT = 4;
 
 /**
  * Builds the cluster in which latencies are compared. Its policy spreads the streams as evenly as
@@ -42,13 +42,13 @@
  */
 export const buildLatencyCluster = (profileDirectory: string | undefined): ClusterOptions => ({
   ...SHARED_OPTIONS,
-  engines: Array.from({ length: LATENCY_ENGINES }, () => buildEngine(20)),
+  engines: Array.from({ length: LATENCY_ENGINE_COUNT }, () => buildEngine(20)),
   policy: { kind: 'round-robin' },
   ...(profileDirectory === undefined ? {} : { profileDirectory }),
 });
 
 /** 10 engines with up to 200 of 2,000 streams each: 20 to 50 ms for a step. */
-export const HOLD_ENGINES = 10;
+export const CAPACITY_ENGINE_COUNT = 10;
 
 /**
  * Builds the cluster whose entry daemon holds thousands of streams, with the default policy.
@@ -56,9 +56,9 @@
  * @param profileDirectory - directory for processor profiles
  * @returns the options
  */
-export const buildHoldCluster = (profileDirectory: string | undefined): ClusterOptions => ({
+export const buildCapacityCluster = (profileDirectory: string | undefined): ClusterOptions => ({
   ...SHARED_OPTIONS,
-  engines: Array.from({ length: HOLD_ENGINES }, () => buildEngine(10)),
+  engines: Array.from({ length: CAPACITY_ENGINE_COUNT }, () => buildEngine(10)),
   ...(profileDirectory === undefined ? {} : { profileDirectory }),
 });
 
@@ -103,7 +103,7 @@
  * @param cluster - running system
  * @returns addresses
  */
-export const listSampledUrls = (cluster: Cluster): SampledUrls => ({
+export const listMetricsUrls = (cluster: Cluster): MetricsUrls => ({
   entry: cluster.entryUrls[0] ?? '',
   endpoints: cluster.processes
     .filter(({ role }) => role === 'endpoint')
--- a/packages/bench/measureHolds.ts
+++ b/packages/bench/measureHolds.ts
@@ -1,17 +1,17 @@
 import { Agent } from 'undici';
 import type { Percentiles } from './callers/latencies.js';
 import type { LoopDelay } from './client/loopDelay.js';
-import { buildHoldCluster, buildTarget, listSampledUrls } from './clusters.js';
+import { buildCapacityCluster, buildTarget, listMetricsUrls } from './clusters.js';
 import { runCallers } from './runCallers.js';
 import type { StageResult } from './runCallers.js';
 import { fetchSample } from './samples/fetchFigures.js';
-import type { SampledUrls } from './samples/fetchFigures.js';
+import type { MetricsUrls } from './samples/fetchFigures.js';
 import { computeCores, computeMemory, computeRate } from './samples/usage.js';
 import type { MemoryUsage } from './samples/usage.js';
 import type { RunPlan, Sample, Stage } from './types.js';
 import { startCluster } from '../cluster/startCluster.js';
 
-export const HOLD_STREAMS: readonly number[] = [500, 1_000, 2_000];
+export const STREAM_COUNTS: readonly number[] = [500, 1_000, 2_000];
 
 /** Longer than all stages take, so that every stream is held until the end. */
 const ANSWER_TOKENS = 16_000;
@@ -26,14 +26,14 @@
 });
 
 const PLAN: RunPlan = {
-  stages: HOLD_STREAMS.map(toStage),
+  stages: STREAM_COUNTS.map(toStage),
   tokens: ANSWER_TOKENS,
   maxPauseMs: 0,
   ending: 'abandon-streams',
 };
 
 /** Figures of the entry daemon while it holds a number of streams. */
-export interface HoldReport {
+export interface ConcurrencyReport {
   readonly streams: number;
   readonly memory: MemoryUsage;
   /** Growth over the idle daemon, for each stream. */
@@ -51,14 +51,18 @@
   readonly clientCores: number;
 }
 
-export interface HoldsReport {
+export interface CapacityReport {
   readonly idle: MemoryUsage;
-  readonly holds: readonly HoldReport[];
+  readonly holds: readonly ConcurrencyReport[];
   readonly failed: number;
   readonly failures: readonly string[];
 }
 
-const buildHold = (streams: number, stage: StageResult, idle: MemoryUsage): HoldReport => {
+const buildConcurrencyReport = (
+  streams: number,
+  stage: StageResult,
+  idle: MemoryUsage,
+): ConcurrencyReport => {
   const { samples, record, clientDelay } = stage;
   const memory = computeMemory(samples);
   const entryCores = computeCores(samples, ({ entry }) => entry.cpuSeconds);
@@ -79,12 +83,12 @@
   };
 };
 
-const sampleIdle = async (urls: SampledUrls): Promise<Sample> => {
-  const pages = new Agent();
+const sampleIdle = async (urls: MetricsUrls): Promise<Sample> => {
+  const agent = new Agent();
   try {
-    return await fetchSample(urls, pages, () => 0);
+    return await fetchSample(urls, agent, () => 0);
   } finally {
-    await pages.destroy();
+    await agent.destroy();
   }
 };
 
@@ -94,14 +98,18 @@
  * @param profileDirectory - directory for processor profiles of the processes
  * @returns memory and processor time at each number
  */
-export const measureHolds = async (profileDirectory: string | undefined): Promise<HoldsReport> => {
-  const cluster = await startCluster(buildHoldCluster(profileDirectory));
+export const measureCapacity = async (
+  profileDirectory: string | undefined,
+): Promise<CapacityReport> => {
+  const cluster = await startCluster(buildCapacityCluster(profileDirectory));
   try {
-    const urls = listSampledUrls(cluster);
+    const urls = listMetricsUrls(cluster);
     const idle = computeMemory([await sampleIdle(urls)]);
     const target = buildTarget(cluster, 'path', ANSWER_TOKENS);
     const { stages, failed, failures } = await runCallers(PLAN, target, urls);
-    const holds = stages.map((stage, index) => buildHold(HOLD_STREAMS[index] ?? 0, stage, idle));
+    const holds = stages.map((stage, index) =>
+      buildConcurrencyReport(STREAM_COUNTS[index] ?? 0, stage, idle),
+    );
     return { idle, holds, failed, failures };
   } finally {
     await cluster.stop();
--- a/packages/bench/measureLatency.ts
+++ b/packages/bench/measureLatency.ts
@@ -1,7 +1,7 @@
 import { mergeRecorders } from './callers/latencies.js';
 import type { Percentiles } from './callers/latencies.js';
 import type { LoopDelay } from './client/loopDelay.js';
-import { buildLatencyCluster, buildTarget, listSampledUrls } from './clusters.js';
+import { buildLatencyCluster, buildTarget, listMetricsUrls } from './clusters.js';
 import { runCallers } from './runCallers.js';
 import type { RunResult, StageResult } from './runCallers.js';
 import { computeCores } from './samples/usage.js';
@@ -11,19 +11,24 @@
 import type { Millis } from '../core/clock.js';
 
 /** Order of the rounds of one block; its symmetry cancels a drift of the machine. */
-const BLOCK: readonly Route[] = ['direct', 'path', 'path', 'direct'];
+const BLOCK_ROUTES: readonly Route[] = ['direct', 'path', 'path', 'direct'];
 
 export const LATENCY_STREAMS = 200;
 const ANSWER_TOKENS = 64;
-const STEP_MS = 30;
+const ENGINE_STEP_MS = 30;
 
 const PLAN: RunPlan = {
   // The ramp is as long as an answer, so that requests arrive evenly.
   stages: [
-    { callers: LATENCY_STREAMS, rampMs: ANSWER_TOKENS * STEP_MS, settleMs: 500, measureMs: 8_000 },
+    {
+      callers: LATENCY_STREAMS,
+      rampMs: ANSWER_TOKENS * ENGINE_STEP_MS,
+      settleMs: 500,
+      measureMs: 8_000,
+    },
   ],
   tokens: ANSWER_TOKENS,
-  maxPauseMs: 2 * STEP_MS,
+  maxPauseMs: 2 * ENGINE_STEP_MS,
   ending: 'finish-streams',
 };
 
@@ -69,7 +74,7 @@
 
 const runRound = async (cluster: Cluster, route: Route, round: number): Promise<Round> => {
   const target = buildTarget(cluster, route, ANSWER_TOKENS);
-  const run = await runCallers(PLAN, target, listSampledUrls(cluster), round + 1);
+  const run = await runCallers(PLAN, target, listMetricsUrls(cluster), round + 1);
   const [stage] = run.stages;
   if (stage === undefined) throw new Error('the run has no stage');
   return { route, run, stage };
@@ -132,7 +137,7 @@
   const cluster = await startCluster(buildLatencyCluster(profileDirectory));
   const rounds: Round[] = [];
   try {
-    const routes = Array.from({ length: blocks }, () => BLOCK).flat();
+    const routes = Array.from({ length: blocks }, () => BLOCK_ROUTES).flat();
     for (const [index, route] of routes.entries()) {
       const round = await runRound(cluster, route, index);
       rounds.push(round);
--- a/packages/bench/pathBench.ts
+++ b/packages/bench/pathBench.ts
@@ -3,13 +3,13 @@
  */
 import { mkdirSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { measureHolds } from './measureHolds.js';
-import type { HoldsReport } from './measureHolds.js';
+import { measureCapacity } from './measureHolds.js';
+import type { CapacityReport } from './measureHolds.js';
 import { measureLatency } from './measureLatency.js';
 import type { LatencyReport } from './measureLatency.js';
 import { measureStartup } from './measureStartup.js';
 import type { StartupReport } from './measureStartup.js';
-import { readIdentity } from './report/machine.js';
+import { readRunMetadata } from './report/machine.js';
 import { printProgress, printResult } from './report/print.js';
 import { renderPathReport } from './report/tables.js';
 import { checkCapacity, checkLatency } from './report/targets.js';
@@ -21,14 +21,14 @@
 
 const DEFAULT_BLOCKS = '2';
 
-const readParts = (text: string): readonly Part[] => {
+const parseParts = (text: string): readonly Part[] => {
   const names = text.split(',');
   const unknown = names.find((name) => !PARTS.some((part) => part === name));
   if (unknown !== undefined) throw new Error(`no part is called ${unknown}: ${PARTS.join(', ')}`);
   return PARTS.filter((part) => names.includes(part));
 };
 
-const readBlocks = (text: string): number => {
+const parseBlocks = (text: string): number => {
   const blocks = Number(text);
   if (!Number.isInteger(blocks) || blocks < 1) throw new Error('--blocks must be 1 or more');
   return blocks;
@@ -57,22 +57,22 @@
 
 const listTargets = (
   latency: LatencyReport | null,
-  capacity: HoldsReport | null,
+  capacity: CapacityReport | null,
 ): readonly TargetReport[] => [
   ...(latency === null ? [] : checkLatency(latency)),
   ...(capacity === null ? [] : checkCapacity(capacity)),
 ];
 
 const runPathBench = async (): Promise<void> => {
-  const parts = readParts(values.parts);
-  const blocks = readBlocks(values.blocks);
+  const parts = parseParts(values.parts);
+  const blocks = parseBlocks(values.blocks);
   const { profile } = values;
   if (profile !== undefined) mkdirSync(profile, { recursive: true });
-  const identity = readIdentity();
+  const identity = readRunMetadata();
   const latency = await measurePart('latency', parts, () =>
     measureLatency(blocks, profile, printProgress),
   );
-  const capacity = await measurePart('capacity', parts, () => measureHolds(profile));
+  const capacity = await measurePart('capacity', parts, () => measureCapacity(profile));
   const startup: StartupReport | null = await measurePart('startup', parts, measureStartup);
   const report: PathReport = {
     bench: 'path',
--- a/packages/bench/placement/buildEndpoint.ts
+++ b/packages/bench/placement/buildEndpoint.ts
@@ -4,7 +4,7 @@
 const PREFIXES_PER_ENDPOINT = 32;
 
 /** What the endpoints of a bench have in common. */
-export interface EndpointWorld {
+export interface SharedEndpointSettings {
   readonly dataCentres: number;
   readonly tokensPerSecond: number;
 }
@@ -14,17 +14,17 @@
  *
  * @param index - number of the endpoint
  * @param random - source of its load
- * @param world - what all endpoints have in common
+ * @param shared - what all endpoints have in common
  * @returns the endpoint as placement sees it
  */
 export const buildEndpoint = (
   index: number,
   random: RandomSource,
-  world: EndpointWorld,
+  shared: SharedEndpointSettings,
 ): EndpointView => ({
   endpoint: `endpoint-${index.toString()}`,
   incarnation: index.toString(),
-  dataCentre: `dc-${(index % world.dataCentres).toString()}`,
+  dataCentre: `dc-${(index % shared.dataCentres).toString()}`,
   model: 'draft',
   version: 'v1',
   phase: 'serving',
@@ -33,7 +33,7 @@
   waiting: 0,
   memoryUsedTokens: 50_000 + random.next() * 40_000,
   memoryTotalTokens: 100_000,
-  tokensPerSecond: world.tokensPerSecond,
+  tokensPerSecond: shared.tokensPerSecond,
   loadAgeMs: random.next() * 500,
   prefixes: new Set(
     Array.from({ length: PREFIXES_PER_ENDPOINT }, () =>
--- a/packages/bench/placement/placementBench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -6,7 +6,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { buildEndpoint } from './buildEndpoint.js';
 import { MAX_PLACEMENT_MICROS } from '../constants.js';
-import { readIdentity } from '../report/machine.js';
+import { readRunMetadata } from '../report/machine.js';
 import { printProgress, printResult } from '../report/print.js';
 import { renderTable } from '../report/tables.js';
 import { writeResult } from '../report/writeResult.js';
@@ -24,8 +24,8 @@
 import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 
 const SIZES: readonly number[] = [8, 64, 512];
-const OWN_PLACEMENTS = 2_000;
-const WORLD = { dataCentres: 3, tokensPerSecond: 1_000 };
+const PLACEMENTS_IN_FLIGHT = 2_000;
+const SHARED_SETTINGS = { dataCentres: 3, tokensPerSecond: 1_000 };
 const WARM_UP_DECISIONS = 5_000;
 const MEASURED_DECISIONS = 20_000;
 
@@ -50,10 +50,10 @@
   }
 };
 
-const trackOwn = (own: PlacementTable, endpoints: readonly EndpointView[]): void => {
-  for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
+const trackPlacements = (placements: PlacementTable, endpoints: readonly EndpointView[]): void => {
+  for (let index = 0; index < PLACEMENTS_IN_FLIGHT; index += 1) {
     const view = endpoints[index % endpoints.length] as EndpointView;
-    own.trackPlacement({
+    placements.trackPlacement({
       requestId: `own-${index.toString()}`,
       endpoint: view.endpoint,
       className: 'memo',
@@ -72,12 +72,12 @@
   histogram.getValueAtPercentile(percentile) / 1_000;
 
 /** Whether the endpoints have room, or every one is at its limit and none can be chosen. */
-type Room = 'room' | 'all-at-limit';
+type Headroom = 'room' | 'all-at-limit';
 
 interface PlacementRow {
   readonly policy: PlacementPolicy['kind'];
   readonly endpoints: number;
-  readonly room: Room;
+  readonly room: Headroom;
   readonly p50Micros: number;
   readonly p99Micros: number;
   readonly meanMicros: number;
@@ -93,15 +93,15 @@
 const measurePolicy = (
   policy: PlacementPolicy,
   endpoints: readonly EndpointView[],
-  own: PlacementTable,
-  room: Room,
+  placements: PlacementTable,
+  headroom: Headroom,
 ): PlacementRow => {
   const random = createRandomSource(5);
   const histogram = build({ highestTrackableValue: 1e9, numberOfSignificantValueDigits: 3 });
   for (let index = 0; index < WARM_UP_DECISIONS + MEASURED_DECISIONS; index += 1) {
     const request = buildRequest(index, random);
     const startedAt = performance.now();
-    choosePlacement(policy, request, endpoints, own, survival, random);
+    choosePlacement(policy, request, endpoints, placements, survival, random);
     const duration = performance.now() - startedAt;
     if (index >= WARM_UP_DECISIONS) histogram.recordValue(Math.round(duration * 1e6));
   }
@@ -109,7 +109,7 @@
   return {
     policy: policy.kind,
     endpoints: endpoints.length,
-    room,
+    room: headroom,
     p50Micros: toMicroseconds(histogram, 50),
     p99Micros,
     meanMicros: histogram.mean / 1_000,
@@ -120,13 +120,15 @@
 
 const measureSize = (size: number): readonly PlacementRow[] => {
   const random = createRandomSource(3);
-  const endpoints = Array.from({ length: size }, (_, index) => buildEndpoint(index, random, WORLD));
-  const own = createPlacementTable(survival);
-  trackOwn(own, endpoints);
-  const full = endpoints.map((view) => ({ ...view, limit: 1 }));
+  const endpoints = Array.from({ length: size }, (_, index) =>
+    buildEndpoint(index, random, SHARED_SETTINGS),
+  );
+  const placements = createPlacementTable(survival);
+  trackPlacements(placements, endpoints);
+  const fullEndpoints = endpoints.map((view) => ({ ...view, limit: 1 }));
   return POLICIES.flatMap((policy) => [
-    measurePolicy(policy, endpoints, own, 'room'),
-    measurePolicy(policy, full, own, 'all-at-limit'),
+    measurePolicy(policy, endpoints, placements, 'room'),
+    measurePolicy(policy, fullEndpoints, placements, 'all-at-limit'),
   ]);
 };
 
@@ -146,13 +148,13 @@
 
 const runPlacementBench = (): void => {
   const { values } = parseArgs({ options: { json: { type: 'boolean', default: false } } });
-  const identity = readIdentity();
+  const identity = readRunMetadata();
   observeLengths(createRandomSource(1));
   const rows = SIZES.flatMap(measureSize);
   const report = {
     bench: 'placement',
     identity,
-    ownPlacements: OWN_PLACEMENTS,
+    ownPlacements: PLACEMENTS_IN_FLIGHT,
     decisions: MEASURED_DECISIONS,
     boundMicros: MAX_PLACEMENT_MICROS,
     rows,
--- a/packages/bench/report/machine.ts
+++ b/packages/bench/report/machine.ts
@@ -2,7 +2,7 @@
 import { cpus, loadavg, totalmem } from 'node:os';
 
 /** Where and from what figures come. */
-export interface RunIdentity {
+export interface RunMetadata {
   readonly date: string;
   readonly commit: string;
   readonly node: string;
@@ -28,7 +28,7 @@
  *
  * @returns date, commit, machine and its load
  */
-export const readIdentity = (): RunIdentity => {
+export const readRunMetadata = (): RunMetadata => {
   const processors = cpus();
   return {
     date: new Date().toISOString(),
--- a/packages/bench/report/tables.ts
+++ b/packages/bench/report/tables.ts
@@ -1,5 +1,5 @@
 import type { PathReport } from './types.js';
-import type { HoldsReport } from '../measureHolds.js';
+import type { CapacityReport } from '../measureHolds.js';
 import type { LatencyReport } from '../measureLatency.js';
 import type { StartupReport } from '../measureStartup.js';
 
@@ -24,12 +24,12 @@
   );
   const renderRow = (row: Row): string =>
     `| ${row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join(' | ')} |`;
-  const rule = `|${widths.map((width) => '-'.repeat(width + 2)).join('|')}|`;
-  return [renderRow(head), rule, ...rows.map(renderRow)].join('\n');
+  const separator = `|${widths.map((width) => '-'.repeat(width + 2)).join('|')}|`;
+  return [renderRow(head), separator, ...rows.map(renderRow)].join('\n');
 };
 
 const renderLatency = ({ comparisons, rounds }: LatencyReport): string => {
-  const compared = comparisons.map(
+  const comparisonRows = comparisons.map(
     ({ measure, percentile, directMs, pathMs, addedMs, ratio }): Row => [
       measure,
       percentile,
@@ -39,7 +39,7 @@
       ratio.toFixed(3),
     ],
   );
-  const single = rounds.map((round, index): Row => [
+  const roundRows = rounds.map((round, index): Row => [
     (index + 1).toString(),
     round.route,
     round.firstToken.p50.toFixed(2),
@@ -58,25 +58,25 @@
     ...['round', 'route', 'first p50', 'first p99', 'gap p50', 'gap p99', 'finished', 'failed'],
     ...['entry cores', 'endpoint cores', 'client cores', 'client delay p99 ms'],
   ];
-  return `${renderTable(head, compared)}\n\n${renderTable(roundHead, single)}`;
+  return `${renderTable(head, comparisonRows)}\n\n${renderTable(roundHead, roundRows)}`;
 };
 
-const renderCapacity = ({ idle, holds }: HoldsReport): string => {
-  const rows = holds.map((hold): Row => [
-    hold.streams.toString(),
-    toMegabytes(hold.memory.rssMaxBytes),
-    toMegabytes(hold.memory.heapMinBytes),
-    toMegabytes(hold.memory.externalMaxBytes),
-    toKilobytes(hold.rssBytesPerStream),
-    toKilobytes(hold.heapBytesPerStream),
-    hold.entryCores.toFixed(2),
-    hold.entryCpuMsPerStreamSecond.toFixed(2),
-    hold.entryCpuMicrosPerToken.toFixed(1),
-    hold.tokensPerSecond.toFixed(0),
-    hold.gap.p50.toFixed(1),
-    hold.gap.p99.toFixed(1),
-    hold.clientCores.toFixed(2),
-    hold.clientDelay.p99.toFixed(2),
+const renderCapacity = ({ idle, holds }: CapacityReport): string => {
+  const rows = holds.map((usage): Row => [
+    usage.streams.toString(),
+    toMegabytes(usage.memory.rssMaxBytes),
+    toMegabytes(usage.memory.heapMinBytes),
+    toMegabytes(usage.memory.externalMaxBytes),
+    toKilobytes(usage.rssBytesPerStream),
+    toKilobytes(usage.heapBytesPerStream),
+    usage.entryCores.toFixed(2),
+    usage.entryCpuMsPerStreamSecond.toFixed(2),
+    usage.entryCpuMicrosPerToken.toFixed(1),
+    usage.tokensPerSecond.toFixed(0),
+    usage.gap.p50.toFixed(1),
+    usage.gap.p99.toFixed(1),
+    usage.clientCores.toFixed(2),
+    usage.clientDelay.p99.toFixed(2),
   ]);
   const idleRow: Row = [
     ...['0', toMegabytes(idle.rssMaxBytes), toMegabytes(idle.heapMinBytes)],
@@ -105,10 +105,10 @@
  */
 export const renderPathReport = (report: PathReport): string => {
   const { identity, latency, capacity, startup, targets } = report;
-  const origin = `${identity.date}, commit ${identity.commit}, Node ${identity.node}, ${identity.cores.toString()} cores (${identity.processor}), load ${identity.loadBefore.toFixed(2)}`;
+  const runLine = `${identity.date}, commit ${identity.commit}, Node ${identity.node}, ${identity.cores.toString()} cores (${identity.processor}), load ${identity.loadBefore.toFixed(2)}`;
   const rows = targets.map(({ target, measured, result }): Row => [target, measured, result]);
   const parts = [
-    origin,
+    runLine,
     ...(latency === null ? [] : [renderLatency(latency)]),
     ...(capacity === null ? [] : [renderCapacity(capacity)]),
     ...(startup === null ? [] : [renderStartup(startup)]),
--- a/packages/bench/report/targets.ts
+++ b/packages/bench/report/targets.ts
@@ -2,10 +2,10 @@
 import {
   CONTROL_STATE_STREAMS,
   MAX_ADDED_FIRST_TOKEN_MS,
-  MAX_ADDED_GAP_SHARE,
+  MAX_ADDED_GAP_FRACTION,
   MAX_CONTROL_STATE_BYTES,
 } from '../constants.js';
-import type { HoldsReport } from '../measureHolds.js';
+import type { CapacityReport } from '../measureHolds.js';
 import type { Comparison, LatencyReport } from '../measureLatency.js';
 
 const BYTES_PER_MB = 1024 * 1024;
@@ -32,18 +32,18 @@
  */
 export const checkLatency = (latency: LatencyReport): readonly TargetReport[] => {
   const gap = findComparison(latency, 'token-gap', 'p99');
-  const first = findComparison(latency, 'first-token', 'p50');
+  const firstToken = findComparison(latency, 'first-token', 'p50');
   const streams = latency.streams.toString();
   return [
     {
       target: `less than 5% added to the time between tokens at p99 with ${streams} streams`,
       measured: `${((gap.ratio - 1) * 100).toFixed(2)}%`,
-      result: toResult(gap.ratio - 1 < MAX_ADDED_GAP_SHARE),
+      result: toResult(gap.ratio - 1 < MAX_ADDED_GAP_FRACTION),
     },
     {
       target: `less than 3 ms added to the first token at p50 with ${streams} streams`,
-      measured: `${first.addedMs.toFixed(2)} ms`,
-      result: toResult(first.addedMs < MAX_ADDED_FIRST_TOKEN_MS),
+      measured: `${firstToken.addedMs.toFixed(2)} ms`,
+      result: toResult(firstToken.addedMs < MAX_ADDED_FIRST_TOKEN_MS),
     },
   ];
 };
@@ -55,17 +55,17 @@
  * @param capacity - figures at each number of streams
  * @returns one row
  */
-export const checkCapacity = ({ holds }: HoldsReport): readonly TargetReport[] => {
-  const hold = holds.find(({ streams }) => streams === CONTROL_STATE_STREAMS);
-  if (hold === undefined) throw new Error('the number of streams of the target was not measured');
-  const { heapMinBytes, externalMaxBytes, rssMaxBytes } = hold.memory;
-  const state = heapMinBytes + externalMaxBytes;
+export const checkCapacity = ({ holds }: CapacityReport): readonly TargetReport[] => {
+  const usage = holds.find(({ streams }) => streams === CONTROL_STATE_STREAMS);
+  if (usage === undefined) throw new Error('the number of streams of the target was not measured');
+  const { heapMinBytes, externalMaxBytes, rssMaxBytes } = usage.memory;
+  const controlStateBytes = heapMinBytes + externalMaxBytes;
   const toMegabytes = (bytes: number): string => (bytes / BYTES_PER_MB).toFixed(1);
   return [
     {
       target: `${CONTROL_STATE_STREAMS.toString()} streams on one entry daemon in less than 128 MB of control state`,
-      measured: `${toMegabytes(state)} MB of heap and external memory (whole process ${toMegabytes(rssMaxBytes)} MB)`,
-      result: toResult(state < MAX_CONTROL_STATE_BYTES),
+      measured: `${toMegabytes(controlStateBytes)} MB of heap and external memory (whole process ${toMegabytes(rssMaxBytes)} MB)`,
+      result: toResult(controlStateBytes < MAX_CONTROL_STATE_BYTES),
     },
   ];
 };
--- a/packages/bench/report/types.ts
+++ b/packages/bench/report/types.ts
@@ -1,5 +1,5 @@
-import type { RunIdentity } from './machine.js';
-import type { HoldsReport } from '../measureHolds.js';
+import type { RunMetadata } from './machine.js';
+import type { CapacityReport } from '../measureHolds.js';
 import type { LatencyReport } from '../measureLatency.js';
 import type { StartupReport } from '../measureStartup.js';
 
@@ -14,9 +14,9 @@
 export interface PathReport {
   readonly bench: 'path';
   readonly command: string;
-  readonly identity: RunIdentity;
+  readonly identity: RunMetadata;
   readonly latency: LatencyReport | null;
-  readonly capacity: HoldsReport | null;
+  readonly capacity: CapacityReport | null;
   readonly startup: StartupReport | null;
   readonly targets: readonly TargetReport[];
 }
--- a/packages/bench/runCallers.ts
+++ b/packages/bench/runCallers.ts
@@ -1,11 +1,11 @@
 import { Agent } from 'undici';
-import { createLoopDelayWatch } from './client/loopDelay.js';
+import { createLoopDelayMonitor } from './client/loopDelay.js';
 import type { LoopDelay } from './client/loopDelay.js';
 import { createStreamClient } from './client/streamClient.js';
 import type { StreamClient, StreamTarget } from './client/streamClient.js';
 import { PAUSE_SEED } from './constants.js';
 import { fetchSample } from './samples/fetchFigures.js';
-import type { SampledUrls } from './samples/fetchFigures.js';
+import type { MetricsUrls } from './samples/fetchFigures.js';
 import { listBenchChildren } from './supervisor.js';
 import type { BenchViews } from './supervisor.js';
 import type { BenchEffect, BenchEvent, RunPlan, Sample, StageRecord } from './types.js';
@@ -33,7 +33,7 @@
 
 interface Adapters {
   readonly client: StreamClient;
-  readonly watchClient: (stage: number, watch: 'begin' | 'end') => void;
+  readonly watchLoopDelay: (stage: number, watch: 'begin' | 'end') => void;
   readonly takeSample: (stage: number) => void;
   readonly onDone: () => void;
 }
@@ -41,7 +41,7 @@
 const performEffect = (
   effect: BenchEffect,
   loop: Loop<BenchEvent>,
-  { client, watchClient, takeSample, onDone }: Adapters,
+  { client, watchLoopDelay, takeSample, onDone }: Adapters,
 ): void => {
   switch (effect.kind) {
     case 'schedule':
@@ -54,7 +54,7 @@
       client.open(effect.caller);
       return;
     case 'watch-client':
-      watchClient(effect.stage, effect.watch);
+      watchLoopDelay(effect.stage, effect.watch);
       return;
     case 'take-sample':
       takeSample(effect.stage);
@@ -67,7 +67,7 @@
   }
 };
 
-const NO_DELAY: LoopDelay = { p50: 0, p99: 0, max: 0 };
+const ZERO_DELAY: LoopDelay = { p50: 0, p99: 0, max: 0 };
 
 /**
  * Runs the callers of one plan against a target and samples the daemons meanwhile.
@@ -81,14 +81,14 @@
 export const runCallers = async (
   plan: RunPlan,
   target: StreamTarget,
-  urls: SampledUrls,
+  urls: MetricsUrls,
   seed = PAUSE_SEED,
 ): Promise<RunResult> => {
   const clock = createSystemClock();
   const views: BenchViews = { callers: createView(), samples: createView() };
-  const watch = createLoopDelayWatch();
-  const delays = new Map<number, LoopDelay>();
-  const pages = new Agent();
+  const loopDelayMonitor = createLoopDelayMonitor();
+  const loopDelays = new Map<number, LoopDelay>();
+  const metricsAgent = new Agent();
   await new Promise<void>((resolve, reject) => {
     const daemon = createRoutedDaemon<BenchEvent, BenchEffect>({
       name: 'bench',
@@ -107,12 +107,12 @@
     });
     const adapters: Adapters = {
       client,
-      watchClient: (stage, kind) => {
-        if (kind === 'begin') watch.begin();
-        else delays.set(stage, watch.end());
+      watchLoopDelay: (stage, kind) => {
+        if (kind === 'begin') loopDelayMonitor.start();
+        else loopDelays.set(stage, loopDelayMonitor.stop());
       },
       takeSample: (stage) => {
-        fetchSample(urls, pages, clock.now).then((sample) => {
+        fetchSample(urls, metricsAgent, clock.now).then((sample) => {
           daemon.post({ to: 'samples', kind: 'sampled', stage, sample });
         }, reject);
       },
@@ -123,13 +123,13 @@
     };
     daemon.start();
   });
-  await pages.destroy();
+  await metricsAgent.destroy();
   const { records, finished, failed, failures } = views.callers.get();
   const { byStage } = views.samples.get();
   const stages = records.map((record, stage) => ({
     record,
     samples: byStage.get(stage) ?? [],
-    clientDelay: delays.get(stage) ?? NO_DELAY,
+    clientDelay: loopDelays.get(stage) ?? ZERO_DELAY,
   }));
   return { stages, finished, failed, failures };
 };
--- a/packages/bench/samples/fetchFigures.ts
+++ b/packages/bench/samples/fetchFigures.ts
@@ -1,6 +1,6 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { ProcessFigures, Sample } from '../types.js';
+import type { ProcessUsage, Sample } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 import { PROCESS_GAUGES } from '../../core/metrics/processGauges.js';
 
@@ -19,19 +19,19 @@
  * @returns the figures
  * @throws Error when a gauge is missing
  */
-export const parseFigures = (text: string): ProcessFigures => ({
+export const parseProcessUsage = (text: string): ProcessUsage => ({
   rssBytes: readGauge(text, PROCESS_GAUGES.rss),
   heapBytes: readGauge(text, PROCESS_GAUGES.heap),
   externalBytes: readGauge(text, PROCESS_GAUGES.external),
   cpuSeconds: readGauge(text, PROCESS_GAUGES.cpu),
 });
 
-const fetchFigures = async (url: string, dispatcher: Dispatcher): Promise<ProcessFigures> => {
-  const answer = await request(`${url}/metrics`, { dispatcher });
-  return parseFigures(await answer.body.text());
+const fetchProcessUsage = async (url: string, dispatcher: Dispatcher): Promise<ProcessUsage> => {
+  const response = await request(`${url}/metrics`, { dispatcher });
+  return parseProcessUsage(await response.body.text());
 };
 
-const addFigures = (left: ProcessFigures, right: ProcessFigures): ProcessFigures => ({
+const addUsage = (left: ProcessUsage, right: ProcessUsage): ProcessUsage => ({
   rssBytes: left.rssBytes + right.rssBytes,
   heapBytes: left.heapBytes + right.heapBytes,
   externalBytes: left.externalBytes + right.externalBytes,
@@ -39,12 +39,12 @@
 });
 
 /** Addresses of the daemons' metrics pages. */
-export interface SampledUrls {
+export interface MetricsUrls {
   readonly entry: string;
   readonly endpoints: readonly string[];
 }
 
-const NO_FIGURES: ProcessFigures = { rssBytes: 0, heapBytes: 0, externalBytes: 0, cpuSeconds: 0 };
+const ZERO_USAGE: ProcessUsage = { rssBytes: 0, heapBytes: 0, externalBytes: 0, cpuSeconds: 0 };
 
 /**
  * Takes one sample of the processes of the path and of this client.
@@ -55,18 +55,18 @@
  * @returns the sample
  */
 export const fetchSample = async (
-  urls: SampledUrls,
+  urls: MetricsUrls,
   dispatcher: Dispatcher,
   now: () => Millis,
 ): Promise<Sample> => {
   const [entry, ...endpoints] = await Promise.all(
-    [urls.entry, ...urls.endpoints].map((url) => fetchFigures(url, dispatcher)),
+    [urls.entry, ...urls.endpoints].map((url) => fetchProcessUsage(url, dispatcher)),
   );
   const { user, system } = process.cpuUsage();
   return {
     at: now(),
-    entry: entry ?? NO_FIGURES,
-    endpoints: endpoints.reduce(addFigures, NO_FIGURES),
+    entry: entry ?? ZERO_USAGE,
+    endpoints: endpoints.reduce(addUsage, ZERO_USAGE),
     clientCpuSeconds: (user + system) / MICROS_PER_SECOND,
   };
 };
--- a/packages/bench/samples/samplesChild.ts
+++ b/packages/bench/samples/samplesChild.ts
@@ -1,4 +1,4 @@
-import { SAMPLE_MS } from '../constants.js';
+import { SAMPLE_PERIOD_MS } from '../constants.js';
 import type { BenchEffect, Sample, SamplesEvent } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
@@ -8,27 +8,27 @@
 export interface SamplesState {
   readonly byStage: Map<number, Sample[]>;
   /** Stage that is sampled now. */
-  current: number | null;
+  sampledStage: number | null;
 }
 
 const decideSamples = (state: SamplesState, event: SamplesEvent): readonly BenchEffect[] => {
   const { stage } = event;
   switch (event.kind) {
     case 'begun':
-      state.current = stage;
+      state.sampledStage = stage;
       return [{ kind: 'take-sample', stage }];
     case 'sample-due':
-      return state.current === stage ? [{ kind: 'take-sample', stage }] : [];
+      return state.sampledStage === stage ? [{ kind: 'take-sample', stage }] : [];
     case 'sampled': {
-      if (state.current !== stage) return [];
+      if (state.sampledStage !== stage) return [];
       const samples = state.byStage.get(stage) ?? [];
       state.byStage.set(stage, samples);
       samples.push(event.sample);
       const due = { to: 'samples', kind: 'sample-due', stage } as const;
-      return [{ kind: 'schedule', delayMs: SAMPLE_MS, event: due }];
+      return [{ kind: 'schedule', delayMs: SAMPLE_PERIOD_MS, event: due }];
     }
     case 'ended':
-      state.current = null;
+      state.sampledStage = null;
       return [];
     default:
       return assertNever(event);
@@ -41,6 +41,6 @@
  * @returns the decisions of the child
  */
 export const createSamplesChild = (): ChildLogic<SamplesState, SamplesEvent, BenchEffect> => ({
-  init: () => toStep<SamplesState, BenchEffect>({ byStage: new Map(), current: null }),
+  init: () => toStep<SamplesState, BenchEffect>({ byStage: new Map(), sampledStage: null }),
   decide: (state, event) => toStep(state, ...decideSamples(state, event)),
 });
--- a/packages/bench/samples/usage.ts
+++ b/packages/bench/samples/usage.ts
@@ -7,18 +7,18 @@
  * Computes how many cores a process kept busy from the first sample to the last.
  *
  * @param samples - samples of one stage
- * @param read - processor time in seconds
+ * @param getSeconds - processor time in seconds
  * @returns cores; 0 with fewer than two samples
  */
 export const computeCores = (
   samples: readonly Sample[],
-  read: (sample: Sample) => number,
+  getSeconds: (sample: Sample) => number,
 ): number => {
   const first = samples[0];
   const last = samples.at(-1);
   if (first === undefined || last === undefined || first === last) return 0;
   const seconds = (last.at - first.at) / MILLIS_PER_SECOND;
-  return (read(last) - read(first)) / seconds;
+  return (getSeconds(last) - getSeconds(first)) / seconds;
 };
 
 /** Memory of a process over the samples of one stage. */
@@ -40,12 +40,13 @@
  * @returns bounds in bytes
  */
 export const computeMemory = (samples: readonly Sample[]): MemoryUsage => {
-  const list = (read: (sample: Sample) => number): readonly number[] => samples.map(read);
+  const listValues = (getBytes: (sample: Sample) => number): readonly number[] =>
+    samples.map(getBytes);
   return {
-    rssMaxBytes: Math.max(...list(({ entry }) => entry.rssBytes)),
-    heapMinBytes: Math.min(...list(({ entry }) => entry.heapBytes)),
-    heapMaxBytes: Math.max(...list(({ entry }) => entry.heapBytes)),
-    externalMaxBytes: Math.max(...list(({ entry }) => entry.externalBytes)),
+    rssMaxBytes: Math.max(...listValues(({ entry }) => entry.rssBytes)),
+    heapMinBytes: Math.min(...listValues(({ entry }) => entry.heapBytes)),
+    heapMaxBytes: Math.max(...listValues(({ entry }) => entry.heapBytes)),
+    externalMaxBytes: Math.max(...listValues(({ entry }) => entry.externalBytes)),
   };
 };
 
--- a/packages/bench/types.ts
+++ b/packages/bench/types.ts
@@ -48,7 +48,7 @@
   | { readonly kind: 'measure-ended'; readonly stage: number };
 
 /** Memory and processor time of a daemon, from its metrics page. */
-export interface ProcessFigures {
+export interface ProcessUsage {
   readonly rssBytes: number;
   readonly heapBytes: number;
   readonly externalBytes: number;
@@ -58,9 +58,9 @@
 /** One look at the processes of the path. */
 export interface Sample {
   readonly at: Millis;
-  readonly entry: ProcessFigures;
+  readonly entry: ProcessUsage;
   /** Sum of all endpoint daemons. */
-  readonly endpoints: ProcessFigures;
+  readonly endpoints: ProcessUsage;
   readonly clientCpuSeconds: number;
 }
 
