Rename the symbols of the capacity bench to terms of the field

The process that sends heartbeats received "orders", and processor time was "spent"; these are now commands and processorTime. "openOne", "rest" and "leave" of the streams are now openStream, remaining and abort. The names of measures stay.

--- a/packages/capacity/capacity.bench.ts
+++ b/packages/capacity/capacity.bench.ts
@@ -16,7 +16,7 @@
     encoding: 'utf8',
   }).trim();
 
-const describeOrigin = (): RunOrigin => ({
+const readOrigin = (): RunOrigin => ({
   startedAt: new Date().toISOString(),
   commit: readCommit(),
   cores: cpus().length,
@@ -25,22 +25,22 @@
   node: process.version,
 });
 
-const readParts = (): readonly Part[] => {
-  const [wanted] = process.argv.slice(2);
-  if (wanted === undefined) return PARTS;
-  const part = PARTS.find((known) => known === wanted);
-  if (part === undefined) throw new Error(`unknown part ${wanted}; known: ${PARTS.join(', ')}`);
+const parseParts = (): readonly Part[] => {
+  const [name] = process.argv.slice(2);
+  if (name === undefined) return PARTS;
+  const part = PARTS.find((known) => known === name);
+  if (part === undefined) throw new Error(`unknown part ${name}; known: ${PARTS.join(', ')}`);
   return [part];
 };
 
-const parts = readParts();
-const origin = describeOrigin();
+const parts = parseParts();
+const origin = readOrigin();
 const results = await runExperiments(parts.flatMap(listExperiments), (name) => {
   console.error(`measuring: ${name}`);
 });
 mkdirSync(RESULTS_DIRECTORY, { recursive: true });
-const stamp = origin.startedAt.replaceAll(/[:.]/g, '-');
-const path = `${RESULTS_DIRECTORY}/capacity-${parts.join('-')}-${stamp}.json`;
+const timestamp = origin.startedAt.replaceAll(/[:.]/g, '-');
+const path = `${RESULTS_DIRECTORY}/capacity-${parts.join('-')}-${timestamp}.json`;
 writeFileSync(path, `${JSON.stringify({ bench: 'capacity', parts, origin, results }, null, 2)}\n`);
 console.log(formatTable(results));
 console.log(`\n${JSON.stringify(origin)}\nwritten to ${path}`);
--- a/packages/capacity/capacity.test.ts
+++ b/packages/capacity/capacity.test.ts
@@ -10,24 +10,24 @@
 const CITED = /`([a-z]+\.[a-z-]+)`/g;
 
 const page = readFileSync(PAGE, 'utf8');
-const names: readonly string[] = MEASURES.map(({ name }) => name);
+const measureNames: readonly string[] = MEASURES.map(({ name }) => name);
 const table = SLOPES.exec(page)?.[1] ?? '';
-const listed = [...table.matchAll(ROW)].map(([, name]) => name ?? '');
+const listedMeasures = [...table.matchAll(ROW)].map(([, name]) => name ?? '');
 
 // Guards against a figure on the page that no run of the bench can reproduce.
 test('the table of slopes lists exactly the measures of the bench', (t) => {
-  t.deepEqual([...listed].sort(), [...names].sort());
+  t.deepEqual([...listedMeasures].sort(), [...measureNames].sort());
 });
 
 // Guards against a line of the page that is worked out from a slope that was renamed or removed.
 test('every measure that the page cites is in the list of the bench', (t) => {
-  const prefixes = new Set(names.map((name) => name.split('.')[0]));
-  const cited = [...page.matchAll(CITED)]
+  const prefixes = new Set(measureNames.map((name) => name.split('.')[0]));
+  const citedMeasures = [...page.matchAll(CITED)]
     .map(([, name]) => name ?? '')
     .filter((name) => prefixes.has(name.split('.')[0]));
-  t.true(cited.length > names.length);
+  t.true(citedMeasures.length > measureNames.length);
   t.deepEqual(
-    cited.filter((name) => !names.includes(name)),
+    citedMeasures.filter((name) => !measureNames.includes(name)),
     [],
   );
 });
--- a/packages/capacity/fit/estimateLine.ts
+++ b/packages/capacity/fit/estimateLine.ts
@@ -13,15 +13,15 @@
 export const estimateLine = (points: readonly Point[]): Line => {
   const meanSize = computeMean(points.map(({ size }) => size));
   const meanValue = computeMean(points.map(({ value }) => value));
-  let spread = 0;
+  let sizeVariation = 0;
   let covariance = 0;
   for (const { size, value } of points) {
-    spread += (size - meanSize) ** 2;
+    sizeVariation += (size - meanSize) ** 2;
     covariance += (size - meanSize) * (value - meanValue);
   }
-  if (!(spread > 0)) throw new RangeError('a line needs points of two different sizes');
-  const slope = covariance / spread;
+  if (!(sizeVariation > 0)) throw new RangeError('a line needs points of two different sizes');
+  const slope = covariance / sizeVariation;
   const intercept = meanValue - slope * meanSize;
-  const squares = points.map(({ size, value }) => (value - intercept - slope * size) ** 2);
-  return { slope, intercept, residual: Math.sqrt(computeMean(squares)) };
+  const squaredResiduals = points.map(({ size, value }) => (value - intercept - slope * size) ** 2);
+  return { slope, intercept, residual: Math.sqrt(computeMean(squaredResiduals)) };
 };
--- a/packages/capacity/measures/configuration.ts
+++ b/packages/capacity/measures/configuration.ts
@@ -16,7 +16,7 @@
 const RECORDS_PER_ROUND = 20;
 
 /** Targets of one class of one customer, the most common change at the target size. */
-const buildBody = (index: number) => ({
+const buildTargetsBody = (index: number) => ({
   classes: [
     {
       className: `customer-${index.toString().padStart(5, '0')}-memos`,
@@ -37,7 +37,7 @@
 const buildEntries = (entities: number): readonly EntityEntry[] =>
   Array.from({ length: entities }, (_, index) => ({
     kind: 'targets',
-    body: buildBody(index),
+    body: buildTargetsBody(index),
     entity: formatEntity(index),
     offset: index,
     author: 'operator-team-a',
@@ -49,7 +49,7 @@
     kind: 'targets',
     entity: formatEntity(index),
     basedOn,
-    body: buildBody(index),
+    body: buildTargetsBody(index),
     author: 'operator-team-a',
     nonce: createId(),
   });
@@ -70,7 +70,7 @@
 };
 
 /** A daemon that starts behind the retention of the log reads the newest snapshot record. */
-const readSnapshot = (line: string, entities: number): ConfigurationState =>
+const foldSnapshot = (line: string, entities: number): ConfigurationState =>
   foldLine(openGap(createConfiguration(), entities), line);
 
 const measureEntities = (entities: number) => {
@@ -80,7 +80,7 @@
   );
   const info = { firstOffset: 0, snapshotAt: null, snapshotAgeMs: 1, maxAgeMs: 0, now: NOW };
   const snapshot = JSON.stringify(planSnapshot(state, info, 'entry-000', createId()));
-  if (readSnapshot(snapshot, entities).entities.size !== entities) {
+  if (foldSnapshot(snapshot, entities).entities.size !== entities) {
     throw new Error('the snapshot does not give back the configuration');
   }
   return {
@@ -94,7 +94,7 @@
       buildView(state);
     }),
     'configuration.snapshot-time': measureDuration(() => {
-      readSnapshot(snapshot, entities);
+      foldSnapshot(snapshot, entities);
     }),
   };
 };
--- a/packages/capacity/measures/daemons.ts
+++ b/packages/capacity/measures/daemons.ts
@@ -8,18 +8,18 @@
 import type { Cluster, ClusterOptions } from '../../cluster/types.js';
 
 /** Streams at once while the cost of a token is measured. */
-const STREAMS = 64;
+const CONCURRENT_STREAMS = 64;
 
 /** Engines that carry the streams of one entry daemon. */
-const ENGINES = 4;
+const ENGINE_COUNT = 4;
 
 const END_MARK = 'data: [DONE]\n\n';
 
 /** Drain of the daemons; nothing is measured after their streams. */
-const DRAIN_MS = 500;
+const DRAIN_TIMEOUT_MS = 500;
 
 /** Time in which daemons without work are watched; their timers have periods below a second. */
-const IDLE_MS = 6_000;
+const IDLE_MEASUREMENT_MS = 6_000;
 
 /** Time after the start in which code is compiled and connections are opened. */
 const SETTLE_MS = 3_000;
@@ -28,10 +28,10 @@
 const WARM_UP_TOKENS = 60;
 
 /** Tokens of streams that must last as long as memory is looked at. */
-const LONG_TOKENS = 1_000;
+const LONG_STREAM_TOKENS = 1_000;
 
 /** An engine that never is the bottleneck; its sequences get a token every 50 ms or a little more. */
-const ENGINE = {
+const ENGINE_OPTIONS = {
   memoryTokens: 50_000_000,
   warmUpMs: 0,
   stepBaseMs: 50,
@@ -42,17 +42,17 @@
 
 const runCluster = async <Value>(
   options: ClusterOptions,
-  work: (cluster: Cluster) => Promise<Value>,
+  measure: (cluster: Cluster) => Promise<Value>,
 ): Promise<Value> => {
   const cluster = await startCluster({
     dataCentres: ['dc-1'],
     ledgers: 0,
-    drainMs: DRAIN_MS,
+    drainMs: DRAIN_TIMEOUT_MS,
     admission: { startLimit: 2_048, maxLimit: 2_048 },
     ...options,
   });
   try {
-    return await work(cluster);
+    return await measure(cluster);
   } finally {
     await cluster.stop();
   }
@@ -61,7 +61,7 @@
 /** A stream whose tokens are thrown away, so that the caller costs little beside the daemons. */
 interface OpenStream {
   readonly ended: Promise<'done' | 'cut'>;
-  readonly leave: () => void;
+  readonly abort: () => void;
 }
 
 const readStream = async (body: Dispatcher.ResponseData['body']): Promise<'done' | 'cut'> => {
@@ -75,7 +75,7 @@
 };
 
 /** Resolves with the first token, so that an endpoint daemon admits streams one after another. */
-const openOne = async (cluster: Cluster, tokens: number, index: number): Promise<OpenStream> => {
+const openStream = async (cluster: Cluster, tokens: number, index: number): Promise<OpenStream> => {
   const key = Object.values(cluster.customerKeys)[0] ?? '';
   const content = `Draft memo ${index.toString()} on the cash position of the group.`;
   const { statusCode, body } = await request(`${cluster.entryUrls[0] ?? ''}/v1/chat/completions`, {
@@ -91,7 +91,7 @@
   });
   if (statusCode !== 200) throw new Error(await body.text());
   await once(body, 'readable');
-  return { ended: readStream(body), leave: () => body.destroy() };
+  return { ended: readStream(body), abort: () => body.destroy() };
 };
 
 const listPids = (cluster: Cluster, role: 'entry' | 'endpoint'): readonly number[] =>
@@ -103,49 +103,50 @@
   tokens: number,
 ): Promise<readonly OpenStream[]> => {
   const opened: OpenStream[] = [];
-  const rest = Array.from({ length: streams }, (_, index) => index).values();
-  const run = async (): Promise<void> => {
-    for (const index of rest) opened.push(await openOne(cluster, tokens, index));
+  const remaining = Array.from({ length: streams }, (_, index) => index).values();
+  const openRemaining = async (): Promise<void> => {
+    for (const index of remaining) opened.push(await openStream(cluster, tokens, index));
   };
-  await Promise.all(listPids(cluster, 'endpoint').map(run));
+  await Promise.all(listPids(cluster, 'endpoint').map(openRemaining));
   return opened;
 };
 
 const runStreams = async (cluster: Cluster, tokens: number): Promise<void> => {
-  const streams = await openStreams(cluster, STREAMS, tokens);
-  const ends = await Promise.all(streams.map(({ ended }) => ended));
-  if (ends.includes('cut')) throw new Error('a stream was cut');
+  const streams = await openStreams(cluster, CONCURRENT_STREAMS, tokens);
+  const outcomes = await Promise.all(streams.map(({ ended }) => ended));
+  if (outcomes.includes('cut')) throw new Error('a stream was cut');
 };
 
-const countProcessorTime = (pids: readonly number[]): number =>
+const sumProcessorTime = (pids: readonly number[]): number =>
   pids.reduce((sum, pid) => sum + readProcessorTime(pid), 0);
 
-const buildEngines = (count: number) => Array.from({ length: count }, () => ({ standin: ENGINE }));
+const buildEngines = (count: number) =>
+  Array.from({ length: count }, () => ({ standin: ENGINE_OPTIONS }));
 
-const measureTokens = (tokens: number) =>
-  runCluster({ entryDaemons: 1, engines: buildEngines(ENGINES) }, async (cluster) => {
+const measureTokenTime = (tokens: number) =>
+  runCluster({ entryDaemons: 1, engines: buildEngines(ENGINE_COUNT) }, async (cluster) => {
     const entries = listPids(cluster, 'entry');
     const endpoints = listPids(cluster, 'endpoint');
     await runStreams(cluster, WARM_UP_TOKENS);
-    const entryBefore = countProcessorTime(entries);
-    const endpointBefore = countProcessorTime(endpoints);
+    const entryBefore = sumProcessorTime(entries);
+    const endpointBefore = sumProcessorTime(endpoints);
     await runStreams(cluster, tokens);
     return {
-      'entry.stream-time': (countProcessorTime(entries) - entryBefore) / STREAMS,
-      'endpoint.stream-time': (countProcessorTime(endpoints) - endpointBefore) / STREAMS,
+      'entry.stream-time': (sumProcessorTime(entries) - entryBefore) / CONCURRENT_STREAMS,
+      'endpoint.stream-time': (sumProcessorTime(endpoints) - endpointBefore) / CONCURRENT_STREAMS,
     };
   });
 
-const measureResident = async (
+const measureResidentMemory = async (
   role: 'entry' | 'endpoint',
   engines: number,
   streams: number,
 ): Promise<number> =>
   runCluster({ entryDaemons: 1, engines: buildEngines(engines) }, async (cluster) => {
-    const opened = await openStreams(cluster, streams, LONG_TOKENS);
+    const opened = await openStreams(cluster, streams, LONG_STREAM_TOKENS);
     const [pid] = listPids(cluster, role);
     const bytes = readResidentBytes(pid ?? 0);
-    for (const { leave } of opened) leave();
+    for (const { abort } of opened) abort();
     return bytes;
   });
 
@@ -154,7 +155,7 @@
   await sleep(SETTLE_MS);
   const before = readProcessorTime(pid);
   const startedAt = performance.now();
-  await sleep(IDLE_MS);
+  await sleep(IDLE_MEASUREMENT_MS);
   return ((readProcessorTime(pid) - before) * 1_000) / (performance.now() - startedAt);
 };
 
@@ -170,12 +171,12 @@
 
 /** Streams through whole daemons, with stand-ins of engine and platform beside them. */
 export const DAEMON_STREAM_EXPERIMENTS: readonly Experiment[] = [
-  { name: 'tokens through both daemons', sizes: [20, 80, 240], measure: measureTokens },
+  { name: 'tokens through both daemons', sizes: [20, 80, 240], measure: measureTokenTime },
   {
     name: 'memory of the entry daemon',
     sizes: [32, 128, 256],
     measure: async (streams) => ({
-      'entry.resident': await measureResident('entry', ENGINES, streams),
+      'entry.resident': await measureResidentMemory('entry', ENGINE_COUNT, streams),
     }),
   },
 ];
@@ -186,7 +187,7 @@
     name: 'memory of the endpoint daemon',
     sizes: [8, 24, 48],
     measure: async (streams) => ({
-      'endpoint.resident': await measureResident('endpoint', 1, streams),
+      'endpoint.resident': await measureResidentMemory('endpoint', 1, streams),
     }),
   },
   { name: 'entry daemon without work', sizes: [1, 4, 12], measure: measureIdleEntry },
--- a/packages/capacity/measures/endpoints.ts
+++ b/packages/capacity/measures/endpoints.ts
@@ -19,7 +19,7 @@
 
 const NOW = 1_800_000_000_000;
 
-const buildAdmission = (index: number): AdmissionRequest => ({
+const buildAdmissionRequest = (index: number): AdmissionRequest => ({
   requestId: `generation-${index.toString()}`,
   targets: { className: 'memo', importance: 'standard', answerLength: 'long' },
   customer: `customer-${(index % 100).toString()}`,
@@ -27,18 +27,18 @@
   promptTokens: 600,
 });
 
-const buildRunning = (index: number): RunningSequence => ({
-  ...buildAdmission(index),
+const buildRunningSequence = (index: number): RunningSequence => ({
+  ...buildAdmissionRequest(index),
   generated: (index * 37) % 900,
   engine: 'confirmed',
   admittedAt: NOW - 10_000,
 });
 
-const buildState = (sequences: number): AdmissionState => ({
+const buildAdmissionState = (sequences: number): AdmissionState => ({
   ...createAdmissionState(NOW),
   phase: { kind: 'serving', identity: 'engine-1', limit: sequences * 2 },
   running: new Map(
-    Array.from({ length: sequences }, (_, index) => buildRunning(index)).map((sequence) => [
+    Array.from({ length: sequences }, (_, index) => buildRunningSequence(index)).map((sequence) => [
       sequence.requestId,
       sequence,
     ]),
@@ -57,7 +57,7 @@
 
 const measureAdmission = (sequences: number) => {
   const context = createContext();
-  const state = buildState(sequences);
+  const state = buildAdmissionState(sequences);
   const generated = new Map([...state.running.keys()].map((id, index) => [id, (index * 53) % 900]));
   const { memory } = state;
   const poll = { kind: 'load-read', identity: 'engine-1', memory, generated } as const;
@@ -66,7 +66,7 @@
       decideLimit(state, { ...poll, requestedAt: NOW, now: NOW }, context);
     }),
     'endpoint.admit-time': measureDuration(() => {
-      decideAdmit(state, buildAdmission(sequences), context);
+      decideAdmit(state, buildAdmissionRequest(sequences), context);
     }),
   };
 };
--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -24,7 +24,7 @@
 });
 
 /** The bounds lie above the number of customers, so that each of them can have a place. */
-const createOpenQueue = (customers: number): QueueState =>
+const createEmptyQueue = (customers: number): QueueState =>
   createQueueState({
     maxWaiting: customers * 4,
     maxWaitingPerClass: customers * 4,
@@ -50,21 +50,21 @@
     ),
   } as const;
   const key = 'standard\u0000model draft';
-  return { ...createOpenQueue(customers), lanes: new Map([[key, lane]]) };
+  return { ...createEmptyQueue(customers), lanes: new Map([[key, lane]]) };
 };
 
 const measureQueue = (customers: number) => {
   const { bytes, state } = measureMemory(() => buildQueue(customers));
   const request = buildRequest(formatCustomer(0));
-  const passThrough = () => {
+  const enqueueAndTake = () => {
     const { requestId } = request;
     const queued = decideQueue(state, { kind: 'enqueue', request }).state;
     decideQueue(queued, { kind: 'take', requestId });
   };
-  return { 'fairness.state': bytes, 'fairness.event-time': measureDuration(passThrough) / 2 };
+  return { 'fairness.state': bytes, 'fairness.event-time': measureDuration(enqueueAndTake) / 2 };
 };
 
-const measureTables = (customers: number) => {
+const measureCustomerTables = (customers: number) => {
   const budgets = measureMemory(() => {
     const table = createBudgetTable();
     for (let index = 0; index < customers; index += 1) {
@@ -92,5 +92,5 @@
 /** State that an entry daemon may hold for each customer. */
 export const FAIRNESS_EXPERIMENTS: readonly Experiment[] = [
   { name: 'fair queue', sizes: [1_000, 7_000, 28_000], measure: measureQueue },
-  { name: 'customer tables', sizes: [1_000, 7_000, 28_000], measure: measureTables },
+  { name: 'customer tables', sizes: [1_000, 7_000, 28_000], measure: measureCustomerTables },
 ];
--- a/packages/capacity/measures/heartbeatCalls.ts
+++ b/packages/capacity/measures/heartbeatCalls.ts
@@ -12,7 +12,7 @@
 import { createMembershipLogic } from '../../entry/membership/membership.js';
 
 /** What the sending process is told to do. */
-export type SenderOrder =
+export type SenderCommand =
   | { readonly kind: 'connect'; readonly endpoints: number }
   | { readonly kind: 'send-rounds'; readonly url: string; readonly rounds: number }
   | { readonly kind: 'close' };
@@ -31,22 +31,22 @@
 }
 
 /** Collects the connections that this process accepts. */
-const watchSockets = () => {
+const trackSockets = () => {
   const sockets: Socket[] = [];
-  const collect = (message: unknown): void => {
+  const collectSocket = (message: unknown): void => {
     sockets.push((message as { readonly socket: Socket }).socket);
   };
-  subscribe(SOCKET_CHANNEL, collect);
+  subscribe(SOCKET_CHANNEL, collectSocket);
   return {
     countTraffic: (): Traffic => ({
       received: sockets.reduce((sum, socket) => sum + socket.bytesRead, 0),
       sent: sockets.reduce((sum, socket) => sum + socket.bytesWritten, 0),
     }),
-    stop: () => unsubscribe(SOCKET_CHANNEL, collect),
+    stop: () => unsubscribe(SOCKET_CHANNEL, collectSocket),
   };
 };
 
-const createReceiver = () => {
+const createHeartbeatReceiver = () => {
   const configuration = createConfiguration();
   const logic = createMembershipLogic({
     now: () => performance.now(),
@@ -68,36 +68,36 @@
   return server;
 };
 
-const performOrder = async (child: ChildProcess, order: SenderOrder): Promise<void> => {
+const performCommand = async (child: ChildProcess, command: SenderCommand): Promise<void> => {
   const done = once(child, 'message');
-  child.send(order);
+  child.send(command);
   await done;
 };
 
 const measureCalls = async (endpoints: number) => {
-  const watch = watchSockets();
-  const server = createReceiver();
+  const socketTracker = trackSockets();
+  const server = createHeartbeatReceiver();
   const url = await server.listen('127.0.0.1', 0);
   const child = fork(fileURLToPath(new URL('./heartbeatSender.js', import.meta.url)), {
     execArgv: [],
   });
-  await performOrder(child, { kind: 'connect', endpoints });
-  await performOrder(child, { kind: 'send-rounds', url, rounds: 2 });
+  await performCommand(child, { kind: 'connect', endpoints });
+  await performCommand(child, { kind: 'send-rounds', url, rounds: 2 });
   const rounds = Math.ceil(HEARTBEATS_PER_MEASUREMENT / endpoints);
-  const traffic = watch.countTraffic();
+  const before = socketTracker.countTraffic();
   const startedAt = getProcessorTime();
-  await performOrder(child, { kind: 'send-rounds', url, rounds });
-  const spent = getProcessorTime() - startedAt;
-  const after = watch.countTraffic();
+  await performCommand(child, { kind: 'send-rounds', url, rounds });
+  const processorTime = getProcessorTime() - startedAt;
+  const after = socketTracker.countTraffic();
   const ended = once(child, 'exit');
-  child.send({ kind: 'close' } satisfies SenderOrder);
+  child.send({ kind: 'close' } satisfies SenderCommand);
   await ended;
   await server.close();
-  watch.stop();
+  socketTracker.stop();
   return {
-    'heartbeat.rpc-time': spent / rounds,
-    'heartbeat.rpc-received': (after.received - traffic.received) / rounds,
-    'heartbeat.rpc-sent': (after.sent - traffic.sent) / rounds,
+    'heartbeat.rpc-time': processorTime / rounds,
+    'heartbeat.rpc-received': (after.received - before.received) / rounds,
+    'heartbeat.rpc-sent': (after.sent - before.sent) / rounds,
   };
 };
 
--- a/packages/capacity/measures/heartbeatSender.ts
+++ b/packages/capacity/measures/heartbeatSender.ts
@@ -1,6 +1,6 @@
 /** Process that stands for the endpoint daemons of `heartbeatCalls.ts`. */
 import { buildHeartbeat } from './heartbeats.js';
-import type { SenderOrder, SenderReport } from './heartbeatCalls.js';
+import type { SenderCommand, SenderReport } from './heartbeatCalls.js';
 import type { EndpointEvent, HeartbeatContent } from '../../endpoint/types.js';
 import { createEntryClient } from '../../endpoint/heartbeats/entryClient.js';
 import type { EntryClient } from '../../endpoint/heartbeats/entryClient.js';
@@ -15,14 +15,14 @@
   readonly content: HeartbeatContent;
 }
 
-const waiting = new Map<number, () => void>();
-let sequence = 0;
+const pending = new Map<number, () => void>();
+let lastSequence = 0;
 
 const handleEvent = (event: EndpointEvent): void => {
   if (event.kind === 'beat-failed') throw new Error(event.reason);
   if (event.kind !== 'acknowledged') return;
-  const resolve = waiting.get(event.sequence);
-  waiting.delete(event.sequence);
+  const resolve = pending.get(event.sequence);
+  pending.delete(event.sequence);
   resolve?.();
 };
 
@@ -31,7 +31,7 @@
     buildHeartbeat(index);
   const { evidence, engineStart } = buildHeartbeat(index);
   const identity = { endpoint, instance, dataCentre, incarnation, version, rpcUrl, httpUrl };
-  const { limit, prefixes, prefixAgeMs, prefixGaps, ...figures } = load;
+  const { limit, prefixes, prefixAgeMs, prefixGaps, ...loadFields } = load;
   return {
     client: createEntryClient(
       () => ({ ...identity, model: model ?? '', service: '' }),
@@ -43,7 +43,7 @@
       engineStart,
       phase: 'serving',
       limit,
-      load: { ...figures, startId: engineStart },
+      load: { ...loadFields, startId: engineStart },
       prefixes,
       prefixAgeMs,
       prefixGaps,
@@ -53,43 +53,43 @@
   };
 };
 
-const sendOne = (sender: Sender, url: string): Promise<void> => {
-  sequence += 1;
-  const own = sequence;
+const sendHeartbeat = (sender: Sender, url: string): Promise<void> => {
+  lastSequence += 1;
+  const sequence = lastSequence;
   return new Promise((resolve) => {
-    waiting.set(own, resolve);
-    sender.client.sendHeartbeat('entry', url, { ...sender.content, sequence: own });
+    pending.set(sequence, resolve);
+    sender.client.sendHeartbeat('entry', url, { ...sender.content, sequence });
   });
 };
 
 const sendRound = async (senders: readonly Sender[], url: string): Promise<void> => {
-  const rest = senders.values();
-  const run = async (): Promise<void> => {
-    for (const sender of rest) await sendOne(sender, url);
+  const remaining = senders.values();
+  const sendRemaining = async (): Promise<void> => {
+    for (const sender of remaining) await sendHeartbeat(sender, url);
   };
-  await Promise.all(Array.from({ length: MAX_IN_FLIGHT }, run));
+  await Promise.all(Array.from({ length: MAX_IN_FLIGHT }, sendRemaining));
 };
 
-const report = (message: SenderReport): void => {
+const send = (message: SenderReport): void => {
   process.send?.(message);
 };
 
 let senders: readonly Sender[] = [];
 
-const handleOrder = async (order: SenderOrder): Promise<void> => {
-  switch (order.kind) {
+const handleCommand = async (command: SenderCommand): Promise<void> => {
+  switch (command.kind) {
     case 'connect':
-      senders = Array.from({ length: order.endpoints }, (_, index) => createSender(index));
+      senders = Array.from({ length: command.endpoints }, (_, index) => createSender(index));
       break;
     case 'send-rounds':
-      for (let round = 0; round < order.rounds; round += 1) await sendRound(senders, order.url);
+      for (let round = 0; round < command.rounds; round += 1) await sendRound(senders, command.url);
       break;
     case 'close':
       for (const { client } of senders) client.close();
       process.disconnect();
       return;
   }
-  report({ kind: 'done' });
+  send({ kind: 'done' });
 };
 
-process.on('message', (order: SenderOrder) => void handleOrder(order));
+process.on('message', (command: SenderCommand) => void handleCommand(command));
--- a/packages/capacity/measures/heartbeats.ts
+++ b/packages/capacity/measures/heartbeats.ts
@@ -124,15 +124,15 @@
 const HASH_BYTES = 6;
 
 /** The hash that the wiring of the endpoint daemon passes to the choice. */
-const hashText = (text: string): number =>
-  createHash('sha256').update(text).digest().readUIntBE(0, HASH_BYTES);
+const hashString = (value: string): number =>
+  createHash('sha256').update(value).digest().readUIntBE(0, HASH_BYTES);
 
 const measureTargets = (entries: number) => {
   const instances = Array.from({ length: entries }, () => createId());
-  const choose = () => {
-    chooseHeartbeatTargets('worker-00001', instances, DEFAULT_SUBSET_SIZE, hashText);
+  const chooseTargets = () => {
+    chooseHeartbeatTargets('worker-00001', instances, DEFAULT_SUBSET_SIZE, hashString);
   };
-  return { 'heartbeat.targets-time': measureDuration(choose) };
+  return { 'heartbeat.targets-time': measureDuration(chooseTargets) };
 };
 
 /** Heartbeats as the decisions of both daemons see them. */
--- a/packages/capacity/measures/instanceList.ts
+++ b/packages/capacity/measures/instanceList.ts
@@ -5,7 +5,7 @@
 import { createListClient } from '../../platform/client/listClient.js';
 import type { Instance } from '../../platform/client/types.js';
 
-const READS = 10;
+const MEASURED_READS = 10;
 
 const buildInstance = (index: number): Instance => {
   const role = index % 16 === 0 ? 'entry' : 'endpoint';
@@ -30,10 +30,10 @@
   };
   await read();
   const startedAt = getProcessorTime();
-  for (let count = 0; count < READS; count += 1) await read();
-  const spent = getProcessorTime() - startedAt;
+  for (let count = 0; count < MEASURED_READS; count += 1) await read();
+  const processorTime = getProcessorTime() - startedAt;
   await client.close();
-  return spent / READS;
+  return processorTime / MEASURED_READS;
 };
 
 /** The answer is built before, so that the server adds little more than the write to the socket. */
--- a/packages/capacity/measures/intents.ts
+++ b/packages/capacity/measures/intents.ts
@@ -16,7 +16,7 @@
 
 /** The records of a key that runs once without trouble: one intent and one outcome. */
 const buildChain = (index: number): readonly ChainRecord[] => {
-  const ofKey = {
+  const keyFields = {
     format: 1,
     customer: `customer-${(index % 28_000).toString().padStart(5, '0')}`,
     key: createId(),
@@ -27,7 +27,7 @@
   return [
     {
       kind: 'intent',
-      ...ofKey,
+      ...keyFields,
       fingerprint: DIGEST,
       nonce,
       previous: null,
@@ -35,7 +35,7 @@
       incarnation: createId(),
       entry: `entry-${(index % 800).toString().padStart(3, '0')}`,
     },
-    { kind: 'outcome', ...ofKey, nonce, verdict: 'ran', status: 200, bodyDigest: DIGEST },
+    { kind: 'outcome', ...keyFields, nonce, verdict: 'ran', status: 200, bodyDigest: DIGEST },
   ];
 };
 
--- a/packages/capacity/measures/logReads.ts
+++ b/packages/capacity/measures/logReads.ts
@@ -50,10 +50,10 @@
   await readAll(baseUrl, records);
   const startedAt = getProcessorTime();
   await readAll(baseUrl, records);
-  const spent = getProcessorTime() - startedAt;
+  const processorTime = getProcessorTime() - startedAt;
   await new Promise((resolve) => server.close(resolve));
   return {
-    'log.read-time': spent,
+    'log.read-time': processorTime,
     'log.read': pages.reduce((sum, page) => sum + page.length, 0),
   };
 };
--- a/packages/capacity/measures/moves.ts
+++ b/packages/capacity/measures/moves.ts
@@ -10,7 +10,7 @@
 const NOW = 1_800_000_000_000;
 const HOUR_MS = 3_600_000;
 
-const buildMove = (index: number, standing: 'running' | 'ended'): MoveView => ({
+const buildMove = (index: number, status: 'running' | 'ended'): MoveView => ({
   name: `move-${index.toString()}`,
   model: 'draft',
   from: 'v1',
@@ -19,7 +19,7 @@
   deadline: NOW + HOUR_MS,
   offset: index * 2,
   ended:
-    standing === 'running'
+    status === 'running'
       ? null
       : {
           outcome: 'done',
@@ -46,9 +46,9 @@
   logic.decide(logic.init().state, { to: 'moves', kind: 'configuration-updated' }).state;
 
 /** Counters that differ from the last ones, as those of an endpoint at work do. */
-const addAnswers = (heartbeat: ReceivedHeartbeat, answers: number): ReceivedHeartbeat => ({
+const addSuccesses = (heartbeat: ReceivedHeartbeat, added: number): ReceivedHeartbeat => ({
   ...heartbeat,
-  evidence: heartbeat.evidence.map((row) => ({ ...row, successes: row.successes + answers })),
+  evidence: heartbeat.evidence.map((row) => ({ ...row, successes: row.successes + added })),
 });
 
 const measureEvidence = (endpoints: number) => {
@@ -57,24 +57,24 @@
     ...buildHeartbeat(index),
     version: index % 2 === 0 ? 'v1' : 'v2',
   }));
-  let answers = 0;
+  let added = 0;
   const receive = (state: MovesState): MovesState => {
-    answers += 1;
+    added += 1;
     return heartbeats.reduce((current, heartbeat) => {
       const event = { to: 'moves', kind: 'evidence-received' } as const;
-      return logic.decide(current, { ...event, heartbeat: addAnswers(heartbeat, answers) }).state;
+      return logic.decide(current, { ...event, heartbeat: addSuccesses(heartbeat, added) }).state;
     }, state);
   };
   const built = measureMemory(() => receive(startMoves(logic)));
   let { state } = built;
-  const round = measureDuration(() => {
+  const roundTime = measureDuration(() => {
     state = receive(state);
   });
-  return { 'moves.evidence-state': built.bytes, 'moves.evidence-time': round };
+  return { 'moves.evidence-state': built.bytes, 'moves.evidence-time': roundTime };
 };
 
 /** Time for one ended move at one change of the configuration. */
-const measureEnded = (moves: number) => {
+const measureEndedMoves = (moves: number) => {
   const logic = createLogic(Array.from({ length: moves }, (_, index) => buildMove(index, 'ended')));
   let state = startMoves(logic);
   const startedAt = getProcessorTime();
@@ -86,5 +86,5 @@
 /** Evidence of one running move, and moves that have ended. */
 export const MOVE_EXPERIMENTS: readonly Experiment[] = [
   { name: 'evidence of a move', sizes: [8, 64, 512, 2_048], measure: measureEvidence },
-  { name: 'ended moves', sizes: [64, 256, 1_024], measure: measureEnded },
+  { name: 'ended moves', sizes: [64, 256, 1_024], measure: measureEndedMoves },
 ];
--- a/packages/capacity/measures/placement.ts
+++ b/packages/capacity/measures/placement.ts
@@ -11,9 +11,9 @@
 
 const SEED = 11;
 const OBSERVED_LENGTHS = 3_000;
-const OWN_PLACEMENTS = 2_000;
+const PLACEMENTS_IN_FLIGHT = 2_000;
 const DECISIONS_PER_ROUND = 100;
-const WORLD = { dataCentres: 17, tokensPerSecond: 833 };
+const SHARED_SETTINGS = { dataCentres: 17, tokensPerSecond: 833 };
 
 const buildRequest = (index: number, random: RandomSource): PlacementRequest => ({
   requestId: index.toString(),
@@ -34,11 +34,11 @@
     survival.observeFinished(key, Math.floor(-800 * Math.log(1 - random.next())));
   }
   const views = Array.from({ length: endpoints }, (_, index) =>
-    buildEndpoint(index, random, WORLD),
+    buildEndpoint(index, random, SHARED_SETTINGS),
   );
-  const own = createPlacementTable(survival);
-  for (let index = 0; index < OWN_PLACEMENTS; index += 1) {
-    own.trackPlacement({
+  const placements = createPlacementTable(survival);
+  for (let index = 0; index < PLACEMENTS_IN_FLIGHT; index += 1) {
+    placements.trackPlacement({
       requestId: `own-${index.toString()}`,
       endpoint: `endpoint-${(index % endpoints).toString()}`,
       className: 'memo',
@@ -53,12 +53,12 @@
   const requests = Array.from({ length: DECISIONS_PER_ROUND }, (_, index) =>
     buildRequest(index, random),
   );
-  const round = measureDuration(() => {
+  const roundTime = measureDuration(() => {
     for (const request of requests) {
-      choosePlacement(DEFAULT_PLACEMENT_POLICY, request, views, own, survival, random);
+      choosePlacement(DEFAULT_PLACEMENT_POLICY, request, views, placements, survival, random);
     }
   });
-  return { 'placement.decision-time': round / DECISIONS_PER_ROUND };
+  return { 'placement.decision-time': roundTime / DECISIONS_PER_ROUND };
 };
 
 /** One placement decision with 2,000 own placements in flight. */
--- a/packages/capacity/measures/streams.ts
+++ b/packages/capacity/measures/streams.ts
@@ -49,7 +49,7 @@
     now: NOW,
   });
 
-const measureStates = (streams: number) => {
+const measureStreamStates = (streams: number) => {
   const deliveries = measureMemory(() => {
     const states = new Map<string, DeliveryState>();
     for (let index = 0; index < streams; index += 1) {
@@ -113,7 +113,7 @@
 
 /** Streams of generations at both daemons, as far as the decisions hold them. */
 export const STREAM_EXPERIMENTS: readonly Experiment[] = [
-  { name: 'stream state', sizes: [500, 2_000, 8_000], measure: measureStates },
+  { name: 'stream state', sizes: [500, 2_000, 8_000], measure: measureStreamStates },
   { name: 'stream chunks', sizes: [1_000, 4_000, 16_000], measure: measureChunks },
   { name: 'kept chunks', sizes: [512, 1_024, 2_048, 4_096], measure: measureKeptChunks },
 ];
--- a/packages/capacity/runCapacity.ts
+++ b/packages/capacity/runCapacity.ts
@@ -13,7 +13,7 @@
 import { PLACEMENT_EXPERIMENTS } from './measures/placement.js';
 import { STREAM_EXPERIMENTS } from './measures/streams.js';
 import { SURVIVAL_EXPERIMENTS } from './measures/survival.js';
-import type { Experiment, MeasureResult, Point, Sample } from './types.js';
+import type { Experiment, MeasuredValues, MeasureResult, Point } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
 /** `modules` runs in this process; the other parts start clusters of processes. */
@@ -57,21 +57,21 @@
   }
 };
 
-interface SizedSample {
+interface SizedValues {
   readonly size: number;
-  readonly sample: Sample;
+  readonly values: MeasuredValues;
 }
 
 /**
  * Fits a line to each measure of a run.
  *
- * @param samples - values by size
+ * @param measured - values by size
  * @returns one result for each measure that has values, in the order of the catalogue
  */
-export const toResults = (samples: readonly SizedSample[]): readonly MeasureResult[] =>
+export const toResults = (measured: readonly SizedValues[]): readonly MeasureResult[] =>
   MEASURES.flatMap(({ name, size: sizeUnit, value: valueUnit }) => {
-    const points = samples.flatMap(({ size, sample }): readonly Point[] => {
-      const value = sample[name];
+    const points = measured.flatMap(({ size, values }): readonly Point[] => {
+      const value = values[name];
       return value === undefined ? [] : [{ size, value }];
     });
     if (points.length === 0) return [];
@@ -89,10 +89,10 @@
   experiments: readonly Experiment[],
   notify: (name: string) => void,
 ): Promise<readonly MeasureResult[]> => {
-  const samples: SizedSample[] = [];
+  const measured: SizedValues[] = [];
   for (const { name, sizes, measure } of experiments) {
     notify(name);
-    for (const size of sizes) samples.push({ size, sample: await measure(size) });
+    for (const size of sizes) measured.push({ size, values: await measure(size) });
   }
-  return toResults(samples);
+  return toResults(measured);
 };
--- a/packages/capacity/sampling/duration.ts
+++ b/packages/capacity/sampling/duration.ts
@@ -16,17 +16,17 @@
   return user + system;
 };
 
-const measureRound = (work: () => void, repeats: number): number => {
+const measureRound = (task: () => void, repeats: number): number => {
   const startedAt = getProcessorTime();
-  for (let repeat = 0; repeat < repeats; repeat += 1) work();
+  for (let repeat = 0; repeat < repeats; repeat += 1) task();
   return (getProcessorTime() - startedAt) / repeats;
 };
 
-const runWarmUp = (work: () => void): number => {
+const runWarmUp = (task: () => void): number => {
   const startedAt = performance.now();
   let rounds = 0;
   while (rounds < MIN_ROUNDS || performance.now() - startedAt < WARM_UP_MS) {
-    work();
+    task();
     rounds += 1;
   }
   return (performance.now() - startedAt) / rounds;
@@ -35,17 +35,17 @@
 /**
  * Measures how much processor time a piece of work takes.
  *
- * @param work - work to repeat; its effects on the state must not make later rounds cheaper
+ * @param task - work to repeat; its effects on the state must not make later rounds cheaper
  * @returns median of the rounds in microseconds
  */
-export const measureDuration = (work: () => void): number => {
-  const repeats = Math.max(1, Math.ceil(MIN_ROUND_MS / runWarmUp(work)));
+export const measureDuration = (task: () => void): number => {
+  const repeats = Math.max(1, Math.ceil(MIN_ROUND_MS / runWarmUp(task)));
   const startedAt = performance.now();
   const rounds: number[] = [];
   while (rounds.length < TIMED_ROUNDS) {
-    rounds.push(measureRound(work, repeats));
-    const isLate = performance.now() - startedAt > MAX_TIMED_MS;
-    if (isLate && rounds.length >= MIN_ROUNDS) break;
+    rounds.push(measureRound(task, repeats));
+    const isOverTime = performance.now() - startedAt > MAX_TIMED_MS;
+    if (isOverTime && rounds.length >= MIN_ROUNDS) break;
   }
   return computeMedian(rounds);
 };
--- a/packages/capacity/sampling/memory.ts
+++ b/packages/capacity/sampling/memory.ts
@@ -1,4 +1,4 @@
-const countBytes = (): number => {
+const measureUsedBytes = (): number => {
   if (globalThis.gc === undefined) throw new Error('run node with --expose-gc');
   globalThis.gc();
   globalThis.gc();
@@ -16,7 +16,7 @@
 export const measureMemory = <State>(
   build: () => State,
 ): { readonly bytes: number; readonly state: State } => {
-  const before = countBytes();
+  const before = measureUsedBytes();
   const state = build();
-  return { bytes: countBytes() - before, state };
+  return { bytes: measureUsedBytes() - before, state };
 };
--- a/packages/capacity/types.ts
+++ b/packages/capacity/types.ts
@@ -15,14 +15,14 @@
 }
 
 /** Values of one run at one size, by measure. */
-export type Sample = Readonly<Partial<Record<MeasureName, number>>>;
+export type MeasuredValues = Readonly<Partial<Record<MeasureName, number>>>;
 
 /** One or more measures that are taken together, each at the same sizes. */
 export interface Experiment {
   readonly name: string;
   readonly sizes: readonly number[];
   /** Measures at one size. */
-  readonly measure: (size: number) => Promise<Sample> | Sample;
+  readonly measure: (size: number) => Promise<MeasuredValues> | MeasuredValues;
 }
 
 /** Points of one measure with the line through them. */
