Reword the comments of the callers and clients of the path bench

"What the callers did so far", "when callers ask" and "inputs: clock and chance" now name the state, the requests and the random source. The tail and the last byte of the event counter say which split each of them covers. Test titles name the counted end mark and the truncated answer.

--- a/packages/bench/callers/callersChild.test.ts
+++ b/packages/bench/callers/callersChild.test.ts
@@ -28,8 +28,9 @@
   return { clock, decide, receive, getState: () => state };
 };
 
-// Guards against gaps that are hidden when tokens arrive together, and against an end mark that counts.
-test('tokens that arrive together count one by one, and the end of the answer does not', (t) => {
+// Guards against a gap that is lost when tokens arrive together, and against an end mark that counts
+// as a token.
+test('tokens that arrive together are counted one by one, and the end mark is not counted', (t) => {
   const { clock, receive, getState } = startCallers();
   clock.advance(40);
   receive(1);
@@ -43,8 +44,8 @@
   t.true(Math.abs((record?.gaps.getPercentiles().max ?? 0) - 60) < 0.1);
 });
 
-// Guards against a bench that reports good latencies of answers that were cut off.
-test('an answer with too few tokens is a failure', (t) => {
+// Guards against a bench that reports good latencies for truncated answers.
+test('an answer with too few tokens counts as a failure', (t) => {
   const { decide, receive, getState } = startCallers();
   receive(2);
   decide({ kind: 'stream-ended', caller: 0, end: { kind: 'whole' } });
@@ -53,8 +54,8 @@
   t.regex(getState().failures[0] ?? '', /too short/);
 });
 
-// Guards against a run that ends before its last streams, which would load the next round.
-test('a run is done once its open streams have ended', (t) => {
+// Guards against a run that ends before its last streams, whose load would disturb the next round.
+test('a run ends once its open streams have ended', (t) => {
   const { decide, receive, getState } = startCallers();
   const effectsAtEnd = decide({ kind: 'measure-ended', stage: 0 });
   t.false(effectsAtEnd.some(({ kind }) => kind === 'done'));
--- a/packages/bench/callers/callersChild.ts
+++ b/packages/bench/callers/callersChild.ts
@@ -7,14 +7,14 @@
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 
-/** Stream of one caller, updated in place with each arrival. */
+/** Open stream of one caller, updated in place with each arrival. */
 interface OpenStream {
   readonly openedAt: Millis;
   tokens: number;
   lastArrivalAt: Millis;
 }
 
-/** What the callers did so far; the tables are updated in place. */
+/** State of the callers; streams, records and failures are updated in place. */
 export interface CallersState {
   readonly openStreams: Map<CallerId, OpenStream>;
   readonly records: readonly StageRecord[];
@@ -25,6 +25,7 @@
   phase: 'settling' | 'measuring' | 'ending' | 'done';
 }
 
+/** Clock and random source of the callers; a test passes its own. */
 export interface CallersInputs {
   readonly now: () => Millis;
   readonly random: RandomSource;
@@ -100,8 +101,8 @@
 };
 
 /**
- * Records the tokens of one arrival. Tokens that arrive together have one gap before the first and
- * none between them; events after the last token are the end of the answer.
+ * Records the tokens of one arrival. Tokens that arrive together count as one gap before the first
+ * and gaps of 0 between them; events after the last token are the end of the answer.
  */
 const recordArrival = (
   state: CallersState,
@@ -175,11 +176,12 @@
 });
 
 /**
- * Creates the child that decides when callers ask, and records what they receive.
+ * Creates the child that decides when callers send requests, and records the latencies of the
+ * tokens that they receive.
  *
- * @param plan - stages, lengths and pauses
- * @param inputs - clock and chance
- * @returns the decisions of the child
+ * @param plan - stages, answer length and pauses
+ * @param inputs - clock and random source
+ * @returns the logic of the child
  */
 export const createCallersChild = (
   plan: RunPlan,
--- a/packages/bench/callers/latencies.ts
+++ b/packages/bench/callers/latencies.ts
@@ -5,7 +5,7 @@
 
 const MICROS_PER_MILLI = 1_000;
 
-/** Figures of one histogram, in milliseconds. */
+/** Number of samples, mean and percentiles of one histogram; durations are in milliseconds. */
 export interface Percentiles {
   readonly count: number;
   readonly mean: Millis;
@@ -14,10 +14,10 @@
   readonly max: Millis;
 }
 
-/** Histogram of durations; updated in place, as a run records hundreds of thousands. */
+/** Histogram of durations; updated in place, as a run records hundreds of thousands of them. */
 export interface LatencyRecorder {
   readonly record: (duration: Millis) => void;
-  /** Adds the samples of another recorder. */
+  /** Adds the samples of another recorder to this one. */
   readonly merge: (other: LatencyRecorder) => void;
   readonly getPercentiles: () => Percentiles;
   readonly getHistogram: () => Histogram;
@@ -59,7 +59,7 @@
  * Merges recorders into a new one.
  *
  * @param recorders - recorders of several runs
- * @returns a recorder with the samples of all
+ * @returns a recorder with the samples of all recorders
  */
 export const mergeRecorders = (recorders: readonly LatencyRecorder[]): LatencyRecorder => {
   const merged = createLatencyRecorder();
--- a/packages/bench/client/eventCounter.test.ts
+++ b/packages/bench/client/eventCounter.test.ts
@@ -2,8 +2,8 @@
 import fc from 'fast-check';
 import { createEventCounter } from './eventCounter.js';
 
-// Guards against tokens that are lost or counted twice where the network cuts a stream.
-test('events are counted once wherever the stream is cut', (t) => {
+// Guards against tokens that are lost or counted twice where the network splits a stream into reads.
+test('every event is counted once wherever the stream is split', (t) => {
   const stream = Buffer.from(
     'id: a.0\ndata: {"n":0}\n\ndata: {"n":1}\n\ndata: {"n":2}\n\ndata: [DONE]\n\n',
   );
@@ -23,8 +23,8 @@
   t.pass();
 });
 
-// Guards against a broken answer that passes for a whole one.
-test('a stream without its end mark is told apart', (t) => {
+// Guards against a truncated answer that counts as a complete one.
+test('a stream without its end mark is recognised as incomplete', (t) => {
   const counter = createEventCounter();
   counter.count(Buffer.from('data: {"n":0}\n\nevent: error\ndata: {}\n\n'));
   t.false(counter.hasEndMark());
--- a/packages/bench/client/eventCounter.ts
+++ b/packages/bench/client/eventCounter.ts
@@ -1,8 +1,8 @@
-/** Counts server-sent events without decoding them, so that the client stays cheap. */
+/** Counts server-sent events without decoding them, which keeps the client's processor time low. */
 export interface EventCounter {
-  /** Counts the events that end in the next bytes of the stream. */
+  /** Counts the events that end within the next bytes of the stream. */
   readonly count: (bytes: Buffer) => number;
-  /** Whether the stream so far ends with the end mark. */
+  /** Reports whether the bytes so far end with the end mark. */
   readonly hasEndMark: () => boolean;
 }
 
@@ -11,14 +11,15 @@
 const END_MARK = 'data: [DONE]\n\n';
 
 /**
- * Creates the counter of one stream. Events must end with two newlines, as all servers of this
- * repository send them.
+ * Creates the counter of one stream. Each event must end with two newlines, as those of all servers
+ * of this repository do.
  *
  * @returns a counter at the start of a stream
  */
 export const createEventCounter = (): EventCounter => {
-  /** Last bytes of the stream; an event end or the end mark may be cut in two. */
+  /** Last bytes of the stream, as the end mark may be split between two reads. */
   let tail: Buffer = Buffer.alloc(0);
+  /** `line-end` after a newline that does not end an event; the next byte may then end it. */
   let lastByte: 'line-end' | 'other' = 'other';
   return {
     count: (bytes) => {
@@ -35,7 +36,7 @@
         events += 1;
         from = foundAt + EVENT_END.length;
       }
-      // A newline that ended an event does not begin the end of the next one.
+      // A newline that already ended an event does not count towards the end of the next one.
       lastByte = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
       tail =
         bytes.length >= END_MARK.length
--- a/packages/bench/client/loopDelay.ts
+++ b/packages/bench/client/loopDelay.ts
@@ -4,7 +4,7 @@
 
 const NANOS_PER_MILLI = 1_000_000;
 
-/** How late the event loop of the client ran, beyond the resolution of the measurement. */
+/** Delay of the client's event loop beyond the resolution of the measurement. */
 export interface LoopDelay {
   readonly p50: Millis;
   readonly p99: Millis;
@@ -18,9 +18,9 @@
 }
 
 /**
- * Creates the watch of the client's event loop.
+ * Creates a monitor of the event loop of this process.
  *
- * @returns the watch, not running
+ * @returns the monitor, not started
  */
 export const createLoopDelayMonitor = (): LoopDelayMonitor => {
   const histogram = monitorEventLoopDelay({ resolution: LOOP_DELAY_RESOLUTION_MS });
--- a/packages/bench/client/streamClient.ts
+++ b/packages/bench/client/streamClient.ts
@@ -4,17 +4,18 @@
 import type { CallerId, CallersEvent, StreamEnd } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Where the callers of a run send their requests. */
+/** Servers and contents of the requests of a run. */
 export interface StreamTarget {
-  /** Callers take the origins in turn. */
+  /** Callers are spread over the origins in turn. */
   readonly origins: readonly string[];
   readonly headers: Readonly<Record<string, string>>;
   readonly buildBody: (caller: CallerId) => string;
 }
 
+/** Client that sends the requests of the callers. */
 export interface StreamClient {
   readonly open: (caller: CallerId) => void;
-  /** Breaks the streams that are still open. */
+  /** Aborts the streams that are still open. */
   readonly close: () => Promise<void>;
 }
 
@@ -23,7 +24,8 @@
 const MAX_ERROR_TEXT_LENGTH = 300;
 
 /**
- * Builds the receiver of one answer. It takes the instant first and decodes nothing.
+ * Builds the handler of one answer. It reads the clock before anything else and decodes no event,
+ * so that its own work adds nothing to the measured times.
  */
 const buildHandler = (
   caller: CallerId,
@@ -65,9 +67,9 @@
 /**
  * Creates the adapter that sends the requests of the callers, each on a connection of its own.
  *
- * @param target - addresses, headers and bodies
+ * @param target - origins, headers and bodies of the requests
  * @param now - clock of the run
- * @param post - receives arrivals and ends
+ * @param post - receives the arrivals and the ends of the streams
  * @returns the adapter
  */
 export const createStreamClient = (
