Reword the comments of the samples and reports of the path bench

"Figures", "one look at the processes" and "what a result page must name" now say resource usage, sample and run metadata. Errors of the target checks and of the metrics pages are documented.

--- a/packages/bench/report/machine.ts
+++ b/packages/bench/report/machine.ts
@@ -1,7 +1,7 @@
 import { execFileSync } from 'node:child_process';
 import { cpus, loadavg, totalmem } from 'node:os';
 
-/** Where and from what figures come. */
+/** Date, commit and machine of a run, which its results are published with. */
 export interface RunMetadata {
   readonly date: string;
   readonly commit: string;
@@ -9,14 +9,14 @@
   readonly cores: number;
   readonly processor: string;
   readonly memoryBytes: number;
-  /** Mean number of runnable processes in the last minute before the run. */
+  /** One-minute load average before the run: the mean number of runnable processes. */
   readonly loadBefore: number;
 }
 
 const runGit = (...args: readonly string[]): string =>
   execFileSync('git', args, { encoding: 'utf8' }).trim();
 
-/** Changes that are not committed are marked, as the commit alone does not show what ran. */
+/** Reads the commit, marked when there are uncommitted changes, which the commit does not show. */
 const readCommit = (): string => {
   const commit = runGit('rev-parse', '--short', 'HEAD');
   const changes = runGit('status', '--porcelain', '--', 'packages', 'app', 'package.json');
@@ -24,9 +24,9 @@
 };
 
 /**
- * Reads what a result page must name about a run.
+ * Reads the metadata that a results page must state about a run.
  *
- * @returns date, commit, machine and its load
+ * @returns date, commit, machine and load
  */
 export const readRunMetadata = (): RunMetadata => {
   const processors = cpus();
--- a/packages/bench/report/print.ts
+++ b/packages/bench/report/print.ts
@@ -1,5 +1,5 @@
 /**
- * Prints a result to the standard output.
+ * Prints a result to standard output.
  *
  * @param text - tables or JSON
  */
@@ -8,9 +8,9 @@
 };
 
 /**
- * Prints progress to the standard error output, apart from the result.
+ * Prints progress to standard error, so that standard output holds only the result.
  *
- * @param line - what was done
+ * @param line - progress message, without a newline
  */
 export const printProgress = (line: string): void => {
   process.stderr.write(`${line}\n`);
--- a/packages/bench/report/tables.ts
+++ b/packages/bench/report/tables.ts
@@ -12,11 +12,11 @@
 const toKilobytes = (bytes: number): string => (bytes / BYTES_PER_KB).toFixed(1);
 
 /**
- * Renders rows as a Markdown table, which can go into a page as it is.
+ * Renders rows as an aligned Markdown table.
  *
  * @param head - names of the columns
- * @param rows - cells
- * @returns the text
+ * @param rows - cells of each row
+ * @returns the table, without a newline at its end
  */
 export const renderTable = (head: Row, rows: readonly Row[]): string => {
   const widths = head.map((name, column) =>
@@ -98,10 +98,10 @@
   );
 
 /**
- * Renders the result of the path bench.
+ * Renders the report of the path bench.
  *
- * @param report - result
- * @returns the tables of the parts that were run
+ * @param report - report; a part that is null is left out
+ * @returns a line about the run, and the tables of the parts that were run
  */
 export const renderPathReport = (report: PathReport): string => {
   const { identity, latency, capacity, startup, targets } = report;
--- a/packages/bench/report/targets.ts
+++ b/packages/bench/report/targets.ts
@@ -25,10 +25,11 @@
 const toResult = (isMet: boolean): TargetReport['result'] => (isMet ? 'met' : 'missed');
 
 /**
- * Compares latencies with their targets.
+ * Compares the latencies with their targets.
  *
- * @param latency - figures of both routes
+ * @param latency - latencies of both routes
  * @returns one row for each target
+ * @throws Error when a percentile that a target needs was not measured
  */
 export const checkLatency = (latency: LatencyReport): readonly TargetReport[] => {
   const gap = findComparison(latency, 'token-gap', 'p99');
@@ -49,11 +50,12 @@
 };
 
 /**
- * Compares the memory of the entry daemon with its target. The control state is the heap with what
- * it holds outside; the whole process is larger by the runtime and its code.
+ * Compares the memory of the entry daemon with its target. The control state is taken as the heap
+ * and the external memory; the resident memory also holds the runtime and its code.
  *
- * @param capacity - figures at each number of streams
+ * @param capacity - resource usage at each number of streams
  * @returns one row
+ * @throws Error when the number of streams of the target was not measured
  */
 export const checkCapacity = ({ holds }: CapacityReport): readonly TargetReport[] => {
   const usage = holds.find(({ streams }) => streams === CONTROL_STATE_STREAMS);
--- a/packages/bench/report/types.ts
+++ b/packages/bench/report/types.ts
@@ -3,14 +3,14 @@
 import type { LatencyReport } from '../measureLatency.js';
 import type { StartupReport } from '../measureStartup.js';
 
-/** One target with what was measured. */
+/** One target of the design and the measured value. */
 export interface TargetReport {
   readonly target: string;
   readonly measured: string;
   readonly result: 'met' | 'missed';
 }
 
-/** Result of the path bench; a part that was not run is null. */
+/** Report of the path bench; a part that was not run is null. */
 export interface PathReport {
   readonly bench: 'path';
   readonly command: string;
--- a/packages/bench/report/writeResult.ts
+++ b/packages/bench/report/writeResult.ts
@@ -4,10 +4,11 @@
 const RESULTS_DIRECTORY = 'results';
 
 /**
- * Writes a result under `results/`, which is not committed.
+ * Writes a report as JSON to the directory `results`, which is not committed. An earlier report of
+ * the same name is overwritten.
  *
- * @param name - name of the bench
- * @param report - result
+ * @param name - file name without its extension
+ * @param report - report to write
  * @returns the path of the file
  */
 export const writeResult = (name: string, report: object): string => {
--- a/packages/bench/samples/fetchFigures.ts
+++ b/packages/bench/samples/fetchFigures.ts
@@ -13,10 +13,10 @@
 };
 
 /**
- * Reads the memory and processor time of a daemon from the text of its metrics page.
+ * Parses the memory and processor time of a daemon from its metrics page.
  *
- * @param text - Prometheus text
- * @returns the figures
+ * @param text - page in the Prometheus text format
+ * @returns memory in bytes and processor time in seconds
  * @throws Error when a gauge is missing
  */
 export const parseProcessUsage = (text: string): ProcessUsage => ({
@@ -38,7 +38,7 @@
   cpuSeconds: left.cpuSeconds + right.cpuSeconds,
 });
 
-/** Addresses of the daemons' metrics pages. */
+/** Base URLs of the daemons whose metrics pages are sampled. */
 export interface MetricsUrls {
   readonly entry: string;
   readonly endpoints: readonly string[];
@@ -47,12 +47,13 @@
 const ZERO_USAGE: ProcessUsage = { rssBytes: 0, heapBytes: 0, externalBytes: 0, cpuSeconds: 0 };
 
 /**
- * Takes one sample of the processes of the path and of this client.
+ * Takes one sample of the daemons on the request path and of this client process.
  *
- * @param urls - metrics pages
- * @param dispatcher - connections of the samples
+ * @param urls - base URLs of the daemons
+ * @param dispatcher - dispatcher of the HTTP requests
  * @param now - clock of the run
  * @returns the sample
+ * @throws Error when a page cannot be fetched or lacks a gauge
  */
 export const fetchSample = async (
   urls: MetricsUrls,
--- a/packages/bench/samples/samplesChild.ts
+++ b/packages/bench/samples/samplesChild.ts
@@ -4,10 +4,10 @@
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 
-/** Samples by stage. */
+/** Samples of each stage; updated in place. */
 export interface SamplesState {
   readonly byStage: Map<number, Sample[]>;
-  /** Stage that is sampled now. */
+  /** Stage that is being sampled; null between measurements. */
   sampledStage: number | null;
 }
 
@@ -38,7 +38,7 @@
 /**
  * Creates the child that samples the processes while a stage is measured.
  *
- * @returns the decisions of the child
+ * @returns the logic of the child
  */
 export const createSamplesChild = (): ChildLogic<SamplesState, SamplesEvent, BenchEffect> => ({
   init: () => toStep<SamplesState, BenchEffect>({ byStage: new Map(), sampledStage: null }),
--- a/packages/bench/samples/usage.ts
+++ b/packages/bench/samples/usage.ts
@@ -4,11 +4,11 @@
 const MILLIS_PER_SECOND = 1_000;
 
 /**
- * Computes how many cores a process kept busy from the first sample to the last.
+ * Computes how many cores a process kept busy on average from the first sample to the last.
  *
  * @param samples - samples of one stage
- * @param getSeconds - processor time in seconds
- * @returns cores; 0 with fewer than two samples
+ * @param getSeconds - returns the processor time of the process in seconds
+ * @returns number of cores; 0 with fewer than two samples
  */
 export const computeCores = (
   samples: readonly Sample[],
@@ -21,12 +21,12 @@
   return (getSeconds(last) - getSeconds(first)) / seconds;
 };
 
-/** Memory of a process over the samples of one stage. */
+/** Minimum and maximum memory of a process over the samples of one stage. */
 export interface MemoryUsage {
   readonly rssMaxBytes: number;
   /**
-   * Lowest use of the heap: a sample soon after a garbage collection, and so an upper bound of the
-   * state that is held.
+   * Smallest heap of the samples, taken soon after a garbage collection: an upper bound of the
+   * memory that the live state takes.
    */
   readonly heapMinBytes: number;
   readonly heapMaxBytes: number;
@@ -34,10 +34,10 @@
 }
 
 /**
- * Computes the memory of the entry daemon over the samples of a stage.
+ * Computes the minimum and maximum memory of the entry daemon over the samples of a stage.
  *
  * @param samples - at least one sample
- * @returns bounds in bytes
+ * @returns sizes in bytes
  */
 export const computeMemory = (samples: readonly Sample[]): MemoryUsage => {
   const listValues = (getBytes: (sample: Sample) => number): readonly number[] =>
@@ -51,9 +51,9 @@
 };
 
 /**
- * Computes the rate of a counter over the measured time.
+ * Computes the average rate of events.
  *
- * @param count - events in that time
+ * @param count - events within the measured time
  * @param measureMs - measured time
  * @returns events per second
  */
