Reword the comments of the placement bench

"Room" and "what the endpoints have in common" now say headroom and shared settings; the comment at the bound says that it is compared with p99.

--- a/packages/bench/placement/buildEndpoint.ts
+++ b/packages/bench/placement/buildEndpoint.ts
@@ -3,19 +3,19 @@
 
 const PREFIXES_PER_ENDPOINT = 32;
 
-/** What the endpoints of a bench have in common. */
+/** Settings that all endpoints of a bench share. */
 export interface SharedEndpointSettings {
   readonly dataCentres: number;
   readonly tokensPerSecond: number;
 }
 
 /**
- * Builds a busy engine endpoint with random load and cached prefixes.
+ * Builds the view of a busy engine endpoint with random load and cached prefixes.
  *
  * @param index - number of the endpoint
- * @param random - source of its load
- * @param shared - what all endpoints have in common
- * @returns the endpoint as placement sees it
+ * @param random - random source of its load and prefixes
+ * @param shared - settings that all endpoints share
+ * @returns the view that placement decides on
  */
 export const buildEndpoint = (
   index: number,
--- a/packages/bench/placement/placementBench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -1,5 +1,5 @@
 /**
- * Entry point of `npm run bench:placement`: the time of one placement decision.
+ * Entry point of `npm run bench:placement`: measures the duration of one placement decision.
  */
 import { parseArgs } from 'node:util';
 import { build } from 'hdr-histogram-js';
@@ -67,13 +67,14 @@
   }
 };
 
-/** Durations are recorded in nanoseconds. */
+/** Returns a percentile in microseconds; durations are recorded in nanoseconds. */
 const toMicroseconds = (histogram: Histogram, percentile: number): number =>
   histogram.getValueAtPercentile(percentile) / 1_000;
 
-/** Whether the endpoints have room, or every one is at its limit and none can be chosen. */
+/** Whether the endpoints have headroom, or all are at their limit and none can be chosen. */
 type Headroom = 'room' | 'all-at-limit';
 
+/** Durations of the decisions of one policy at one size; a row of the report. */
 interface PlacementRow {
   readonly policy: PlacementPolicy['kind'];
   readonly endpoints: number;
@@ -113,7 +114,7 @@
     p50Micros: toMicroseconds(histogram, 50),
     p99Micros,
     meanMicros: histogram.mean / 1_000,
-    // The bound is for one decision, so the rare slow ones count.
+    // The bound applies to every decision, so it is compared with p99 and not with the mean.
     result: p99Micros <= MAX_PLACEMENT_MICROS ? 'met' : 'missed',
   };
 };
