Reword the comments and messages of the path bench

The entry daemon "holds" streams in many senses; it now serves concurrent streams. The units and subjects of the report fields (cores kept busy, processor time per second and stream) are stated. Messages of the flags name the known parts and the accepted values.

--- a/packages/bench/clusters.ts
+++ b/packages/bench/clusters.ts
@@ -5,8 +5,9 @@
 import type { Cluster, ClusterOptions, EngineStandinOptions } from '../cluster/types.js';
 
 /**
- * Engines that bear any load from their start. A step takes `stepBaseMs` and 0.2 ms for each sequence
- * of the batch, so the two clusters below keep it between 20 and 50 ms.
+ * Builds an engine that accepts the full load from its start, without a warm-up. A step takes
+ * `stepBaseMs` plus 0.2 ms for each sequence of the batch, which is between 20 and 50 ms in the two
+ * clusters below.
  */
 const buildEngine = (stepBaseMs: number): { readonly standin: EngineStandinOptions } => ({
   standin: {
@@ -24,20 +25,20 @@
   dataCentres: ['dc-a'],
   entryDaemons: 1,
   ledgers: 0,
-  // The admission limit is not what is measured here, so it is open from the start.
+  // The admission limit is not measured here, so it starts above the number of streams.
   admission: { startLimit: 1_024, maxLimit: 1_024 },
   drainMs: 1_000,
 };
 
-/** 4 engines with 50 of 200 streams each: 30 ms for a step. */
+/** Each of the 4 engines serves 50 of 200 streams, which makes its step 30 ms long. */
 export const LATENCY_ENGINE_COUNT = 4;
 
 /**
- * Builds the cluster in which latencies are compared. Its policy spreads the streams as evenly as
- * the direct callers do, or else the engines' batches and their step times would differ between the
- * two routes.
+ * Builds the options of the cluster in which the latencies of both routes are compared. Its policy
+ * spreads the streams as evenly as the direct callers do; otherwise the engines' batches, and with
+ * them the step times, would differ between the routes.
  *
- * @param profileDirectory - directory for processor profiles
+ * @param profileDirectory - directory for CPU profiles; none are written without one
  * @returns the options
  */
 export const buildLatencyCluster = (profileDirectory: string | undefined): ClusterOptions => ({
@@ -47,13 +48,14 @@
   ...(profileDirectory === undefined ? {} : { profileDirectory }),
 });
 
-/** 10 engines with up to 200 of 2,000 streams each: 20 to 50 ms for a step. */
+/** Each of the 10 engines serves up to 200 of 2,000 streams, which makes its step 20 to 50 ms long. */
 export const CAPACITY_ENGINE_COUNT = 10;
 
 /**
- * Builds the cluster whose entry daemon holds thousands of streams, with the default policy.
+ * Builds the options of the cluster whose entry daemon serves thousands of concurrent streams, with
+ * the default placement policy.
  *
- * @param profileDirectory - directory for processor profiles
+ * @param profileDirectory - directory for CPU profiles; none are written without one
  * @returns the options
  */
 export const buildCapacityCluster = (profileDirectory: string | undefined): ClusterOptions => ({
@@ -76,12 +78,12 @@
 };
 
 /**
- * Builds the target of a route. Requests are the same on both routes.
+ * Builds the target of a route. Only the origins differ between the routes.
  *
- * @param cluster - running system
- * @param route - straight to the engines, or through the daemons
- * @param tokens - length of each answer
- * @returns addresses, headers and bodies
+ * @param cluster - running cluster
+ * @param route - directly to the engines, or through the daemons
+ * @param tokens - tokens of each answer
+ * @returns origins, headers and bodies of the requests
  */
 export const buildTarget = (cluster: Cluster, route: Route, tokens: number): StreamTarget => ({
   origins: listOrigins(cluster, route),
@@ -98,10 +100,10 @@
 });
 
 /**
- * Lists the metrics pages of the daemons on the path.
+ * Lists the base URLs of the daemons on the request path, whose metrics pages are sampled.
  *
- * @param cluster - running system
- * @returns addresses
+ * @param cluster - running cluster
+ * @returns base URLs by role
  */
 export const listMetricsUrls = (cluster: Cluster): MetricsUrls => ({
   entry: cluster.entryUrls[0] ?? '',
--- a/packages/bench/measureHolds.ts
+++ b/packages/bench/measureHolds.ts
@@ -11,9 +11,10 @@
 import type { RunPlan, Sample, Stage } from './types.js';
 import { startCluster } from '../cluster/startCluster.js';
 
+/** Numbers of concurrent streams, in the order in which they are measured. */
 export const STREAM_COUNTS: readonly number[] = [500, 1_000, 2_000];
 
-/** Longer than all stages take, so that every stream is held until the end. */
+/** Tokens of each answer; enough that every stream stays open until the last stage has ended. */
 const ANSWER_TOKENS = 16_000;
 
 const MEASURE_MS = 12_000;
@@ -32,18 +33,19 @@
   ending: 'abandon-streams',
 };
 
-/** Figures of the entry daemon while it holds a number of streams. */
+/** Resource usage while the entry daemon serves a number of concurrent streams. */
 export interface ConcurrencyReport {
   readonly streams: number;
   readonly memory: MemoryUsage;
-  /** Growth over the idle daemon, for each stream. */
+  /** Growth over the idle daemon, divided by the number of streams. */
   readonly rssBytesPerStream: number;
   readonly heapBytesPerStream: number;
+  /** Cores that the entry daemon kept busy. */
   readonly entryCores: number;
-  /** Processor milliseconds of the entry daemon per second and stream. */
+  /** Processor time of the entry daemon in milliseconds, per second and stream. */
   readonly entryCpuMsPerStreamSecond: number;
   readonly entryCpuMicrosPerToken: number;
-  /** Of all endpoint daemons together. */
+  /** Cores that all endpoint daemons together kept busy. */
   readonly endpointCores: number;
   readonly tokensPerSecond: number;
   readonly gap: Percentiles;
@@ -51,9 +53,13 @@
   readonly clientCores: number;
 }
 
+/** Result of the part `capacity`. */
 export interface CapacityReport {
+  /** Memory of the entry daemon before the first request. */
   readonly idle: MemoryUsage;
+  /** One report for each number of concurrent streams. */
   readonly holds: readonly ConcurrencyReport[];
+  /** Number of failed streams. */
   readonly failed: number;
   readonly failures: readonly string[];
 }
@@ -93,10 +99,10 @@
 };
 
 /**
- * Measures one entry daemon that holds 500, 1,000 and 2,000 streams.
+ * Measures one entry daemon that serves 500, 1,000 and 2,000 concurrent streams.
  *
- * @param profileDirectory - directory for processor profiles of the processes
- * @returns memory and processor time at each number
+ * @param profileDirectory - directory for CPU profiles; none are written without one
+ * @returns memory and processor time at each number of streams
  */
 export const measureCapacity = async (
   profileDirectory: string | undefined,
--- a/packages/bench/measureLatency.ts
+++ b/packages/bench/measureLatency.ts
@@ -10,15 +10,16 @@
 import type { Cluster } from '../cluster/types.js';
 import type { Millis } from '../core/clock.js';
 
-/** Order of the rounds of one block; its symmetry cancels a drift of the machine. */
+/** Routes of the rounds of one block; the symmetric order cancels a linear drift of the machine. */
 const BLOCK_ROUTES: readonly Route[] = ['direct', 'path', 'path', 'direct'];
 
+/** Number of concurrent streams, at which the targets of the latencies apply. */
 export const LATENCY_STREAMS = 200;
 const ANSWER_TOKENS = 64;
 const ENGINE_STEP_MS = 30;
 
 const PLAN: RunPlan = {
-  // The ramp is as long as an answer, so that requests arrive evenly.
+  // The ramp is as long as an answer, so that the requests are spread evenly over time.
   stages: [
     {
       callers: LATENCY_STREAMS,
@@ -32,7 +33,7 @@
   ending: 'finish-streams',
 };
 
-/** Figures of one round. */
+/** Latencies and resource usage of one round. */
 export interface RoundReport {
   readonly route: Route;
   readonly firstToken: Percentiles;
@@ -41,23 +42,25 @@
   readonly failed: number;
   readonly failures: readonly string[];
   readonly clientDelay: LoopDelay;
-  /** Processor time of the client as a number of cores. */
+  /** Cores that the client kept busy. */
   readonly clientCores: number;
   readonly entryCores: number;
-  /** Of all endpoint daemons together. */
+  /** Cores that all endpoint daemons together kept busy. */
   readonly endpointCores: number;
 }
 
-/** One percentile on both routes. */
+/** One percentile of a latency on both routes. */
 export interface Comparison {
   readonly measure: 'first-token' | 'token-gap';
   readonly percentile: 'p50' | 'p99';
   readonly directMs: Millis;
   readonly pathMs: Millis;
   readonly addedMs: Millis;
+  /** Time on the path divided by the direct time. */
   readonly ratio: number;
 }
 
+/** Result of the part `latency`. */
 export interface LatencyReport {
   readonly streams: number;
   readonly tokensPerAnswer: number;
@@ -76,7 +79,7 @@
   const target = buildTarget(cluster, route, ANSWER_TOKENS);
   const run = await runCallers(PLAN, target, listMetricsUrls(cluster), round + 1);
   const [stage] = run.stages;
-  if (stage === undefined) throw new Error('the run has no stage');
+  if (stage === undefined) throw new Error('the run returned no stage');
   return { route, run, stage };
 };
 
@@ -122,12 +125,12 @@
 };
 
 /**
- * Compares the latencies of the two routes in rounds that take turns.
+ * Compares the latencies of the two routes in alternating rounds.
  *
- * @param blocks - how often the block of four rounds is run
- * @param profileDirectory - directory for processor profiles of the processes
- * @param print - receives a line for each round
- * @returns the figures of all rounds and of each route
+ * @param blocks - number of blocks, of four rounds each
+ * @param profileDirectory - directory for CPU profiles; none are written without one
+ * @param print - receives one line after each round
+ * @returns the latencies of each round, and the percentiles of both routes
  */
 export const measureLatency = async (
   blocks: number,
--- a/packages/bench/measureStartup.ts
+++ b/packages/bench/measureStartup.ts
@@ -5,12 +5,12 @@
 import { DEMO_TIMEOUT_MS } from './constants.js';
 import type { Millis } from '../core/clock.js';
 
-/** Times of `npm run demo`, from its start. */
+/** Startup times of `npm run demo`, measured from the start of npm. */
 export interface StartupReport {
   readonly command: string;
-  /** Until the compiled command line begins to start processes; npm and the compiler run before. */
+  /** Time until the compiled command starts its first process; npm and the compiler run before. */
   readonly commandMs: Millis;
-  /** Until every process is ready. */
+  /** Time until every process is ready. */
   readonly readyMs: Millis;
 }
 
@@ -27,11 +27,11 @@
     });
     child.once('error', reject);
     child.once('exit', (code) => {
-      reject(new Error(`npm run demo ended with code ${String(code)} before it was ready`));
+      reject(new Error(`npm run demo exited with code ${String(code)} before it was ready`));
     });
   });
 
-/** Ends the group of the demo, which then stops its own processes in order. */
+/** Interrupts the process group of the demo, which then stops its processes in order. */
 const stopDemo = async (child: ChildProcess): Promise<void> => {
   if (child.pid === undefined || child.exitCode !== null) return;
   const ended = new Promise((resolve) => child.once('exit', resolve));
@@ -42,12 +42,12 @@
 /**
  * Starts `npm run demo`, waits until it is ready and stops it.
  *
- * @returns the times
- * @throws Error when the demo ends or is not ready in time
+ * @returns the command and its startup times
+ * @throws Error when the demo exits before it is ready, which a timeout also makes it do
  */
 export const measureStartup = async (): Promise<StartupReport> => {
   const startedAt = performance.now();
-  // A process group of its own, so that the signal reaches the demo and not only npm.
+  // The child leads a process group of its own, so that a signal reaches the demo and not only npm.
   const child = spawn('npm', ARGUMENTS, { detached: true, stdio: ['ignore', 'pipe', 'pipe'] });
   const timer = setTimeout(() => {
     if (child.pid !== undefined) process.kill(-child.pid, 'SIGTERM');
--- a/packages/bench/pathBench.ts
+++ b/packages/bench/pathBench.ts
@@ -1,5 +1,6 @@
 /**
- * Entry point of `npm run bench:path`: measures the request path over processes on loopback.
+ * Entry point of `npm run bench:path`: measures the request path through daemon processes that
+ * communicate over loopback.
  */
 import { mkdirSync } from 'node:fs';
 import { parseArgs } from 'node:util';
@@ -24,13 +25,13 @@
 const parseParts = (text: string): readonly Part[] => {
   const names = text.split(',');
   const unknown = names.find((name) => !PARTS.some((part) => part === name));
-  if (unknown !== undefined) throw new Error(`no part is called ${unknown}: ${PARTS.join(', ')}`);
+  if (unknown !== undefined) throw new Error(`unknown part ${unknown}; known: ${PARTS.join(', ')}`);
   return PARTS.filter((part) => names.includes(part));
 };
 
 const parseBlocks = (text: string): number => {
   const blocks = Number(text);
-  if (!Number.isInteger(blocks) || blocks < 1) throw new Error('--blocks must be 1 or more');
+  if (!Number.isInteger(blocks) || blocks < 1) throw new Error('--blocks must be an integer >= 1');
   return blocks;
 };
 
@@ -38,9 +39,9 @@
   options: {
     json: { type: 'boolean', default: false },
     parts: { type: 'string', default: PARTS.join(',') },
-    /** Blocks of four rounds: direct, path, path, direct. */
+    /** Number of blocks; a block has four rounds: direct, path, path, direct. */
     blocks: { type: 'string', default: DEFAULT_BLOCKS },
-    /** Directory for processor profiles; a profiled run gives no figures to publish. */
+    /** Directory for CPU profiles; figures of a profiled run are not to be published. */
     profile: { type: 'string' },
   },
 });
--- a/packages/bench/runCallers.ts
+++ b/packages/bench/runCallers.ts
@@ -16,18 +16,19 @@
 import { createRoutedDaemon } from '../standins/common/routedDaemon.js';
 import { createView } from '../standins/common/view.js';
 
-/** What one stage of a run showed. */
+/** Measurements of one stage of a run. */
 export interface StageResult {
   readonly record: StageRecord;
   readonly samples: readonly Sample[];
   readonly clientDelay: LoopDelay;
 }
 
+/** Measurements of a run; counts include the streams outside the measured periods. */
 export interface RunResult {
   readonly stages: readonly StageResult[];
   readonly finished: number;
   readonly failed: number;
-  /** First failures, word by word. */
+  /** Messages of the first failures, at most `MAX_REPORTED_FAILURES`. */
   readonly failures: readonly string[];
 }
 
@@ -70,12 +71,13 @@
 const ZERO_DELAY: LoopDelay = { p50: 0, p99: 0, max: 0 };
 
 /**
- * Runs the callers of one plan against a target and samples the daemons meanwhile.
+ * Runs the callers of a plan against a target and samples the resource usage of the daemons while
+ * each stage is measured.
  *
- * @param plan - stages, lengths and pauses
- * @param target - addresses, headers and bodies
- * @param urls - metrics pages of the daemons
- * @param seed - makes the pauses of the run differ from those of other runs
+ * @param plan - stages, answer length and pauses
+ * @param target - origins, headers and bodies of the requests
+ * @param urls - base URLs of the daemons, whose `/metrics` pages are read
+ * @param seed - seed of the random pauses; runs with different seeds have different pauses
  * @returns one result for each stage
  */
 export const runCallers = async (
--- a/packages/bench/supervisor.ts
+++ b/packages/bench/supervisor.ts
@@ -7,18 +7,18 @@
 import type { ChildSpec } from '../core/supervision/types.js';
 import type { View } from '../standins/common/view.js';
 
-/** States from which the results are built. */
+/** Views of the states from which the results of a run are built. */
 export interface BenchViews {
   readonly callers: View<CallersState>;
   readonly samples: View<SamplesState>;
 }
 
 /**
- * Lists the children of a run: the samples, and the callers, which start last as they send at once.
+ * Lists the children of a run. The callers start last, because they send requests at once.
  *
- * @param plan - what the callers do
- * @param inputs - clock and chance
- * @param views - receivers of the published states
+ * @param plan - stages, answer length and pauses
+ * @param inputs - clock and random source
+ * @param views - views to which the children publish their states
  * @returns the children in start order
  */
 export const listBenchChildren = (
--- a/packages/bench/types.ts
+++ b/packages/bench/types.ts
@@ -1,31 +1,32 @@
 import type { LatencyRecorder } from './callers/latencies.js';
 import type { Millis } from '../core/clock.js';
 
-/** Way of a request: straight to an engine, or through the entry and the endpoint daemon. */
+/** Route of a request: directly to an engine, or through the entry and the endpoint daemon. */
 export type Route = 'direct' | 'path';
 
-/** One measured time of a run. Callers of an earlier stage go on in the later ones. */
+/** One measured period of a run. The callers of a stage also run in all later ones. */
 export interface Stage {
-  /** Callers in all, with those of earlier stages. */
+  /** Number of callers, including those of earlier stages. */
   readonly callers: number;
-  /** Time over which the new callers start. */
+  /** Time over which the starts of the new callers are spread. */
   readonly rampMs: Millis;
   /** Time from the end of the ramp to the start of the measurement. */
   readonly settleMs: Millis;
   readonly measureMs: Millis;
 }
 
-/** What the callers do. */
+/** Plan of what the callers of a run do. */
 export interface RunPlan {
   readonly stages: readonly Stage[];
   /** Tokens of each answer. */
   readonly tokens: number;
   /**
-   * Longest pause before a request. Pauses are random, because a caller that asked again right after
-   * a token would always meet the engine at the start of a step, which hides a short added delay.
+   * Maximum of the random pause before the next request of a caller. Without a pause, a request would
+   * follow directly on a token and always reach the engine at the start of a step, which hides a
+   * short added delay.
    */
   readonly maxPauseMs: Millis;
-  /** Whether streams that are open after the last stage run to their end. */
+  /** Whether streams that are open after the last stage run to their end or are aborted. */
   readonly ending: 'finish-streams' | 'abandon-streams';
 }
 
@@ -39,7 +40,7 @@
   | {
       readonly kind: 'events-arrived';
       readonly caller: CallerId;
-      /** Server-sent events that arrived together. */
+      /** Number of server-sent events that arrived together. */
       readonly count: number;
       readonly at: Millis;
     }
@@ -55,7 +56,7 @@
   readonly cpuSeconds: number;
 }
 
-/** One look at the processes of the path. */
+/** Resource usage of the client and of the daemons on the request path at one time. */
 export interface Sample {
   readonly at: Millis;
   readonly entry: ProcessUsage;
@@ -70,7 +71,7 @@
   | { readonly kind: 'sampled'; readonly stage: number; readonly sample: Sample }
   | { readonly kind: 'ended'; readonly stage: number };
 
-/** Events of a run; each names the child that handles it. */
+/** Events of a run; `to` names the child that handles the event. */
 export type BenchEvent =
   ({ readonly to: 'callers' } & CallersEvent) | ({ readonly to: 'samples' } & SamplesEvent);
 
@@ -82,9 +83,11 @@
   | { readonly kind: 'watch-client'; readonly stage: number; readonly watch: 'begin' | 'end' }
   | { readonly kind: 'done' };
 
-/** What the callers saw in one stage. */
+/** Latencies and token count of all callers in one stage. */
 export interface StageRecord {
+  /** Times from the request to the first token. */
   readonly firstTokens: LatencyRecorder;
+  /** Times between two tokens of an answer. */
   readonly gaps: LatencyRecorder;
   /** Tokens that arrived while the stage was measured. */
   tokens: number;
