Reword the comments and messages of the measures of the capacity bench

"What the sending process is told", "without trouble", "a table has other entries than it was given" and "shows no memory" now say command, without failure, does not hold the added entries and has no VmRSS. Experiments of daemons "without work" are called idle.

--- a/packages/capacity/measures/configuration.ts
+++ b/packages/capacity/measures/configuration.ts
@@ -15,7 +15,7 @@
 const NOW = 1_800_000_000_000;
 const RECORDS_PER_ROUND = 20;
 
-/** Targets of one class of one customer, the most common change at the target size. */
+/** Builds targets of one class of one customer, the most common change at the target size. */
 const buildTargetsBody = (index: number) => ({
   classes: [
     {
@@ -69,7 +69,10 @@
   return foldControlRecord(state, { offset: state.nextOffset, at: NOW, body }, parsed.value).state;
 };
 
-/** A daemon that starts behind the retention of the log reads the newest snapshot record. */
+/**
+ * Folds a snapshot record after a gap, as a daemon does that starts after the retention has removed
+ * the first records of the log.
+ */
 const foldSnapshot = (line: string, entities: number): ConfigurationState =>
   foldLine(openGap(createConfiguration(), entities), line);
 
@@ -81,7 +84,7 @@
   const info = { firstOffset: 0, snapshotAt: null, snapshotAgeMs: 1, maxAgeMs: 0, now: NOW };
   const snapshot = JSON.stringify(planSnapshot(state, info, 'entry-000', createId()));
   if (foldSnapshot(snapshot, entities).entities.size !== entities) {
-    throw new Error('the snapshot does not give back the configuration');
+    throw new Error('the snapshot does not restore every entity of the configuration');
   }
   return {
     'configuration.state': bytes,
@@ -105,7 +108,7 @@
   ).reduce((sum, bytes) => sum + bytes, 0),
 });
 
-/** Configuration with as many entities as there are customers, or changes a day. */
+/** Configuration with an entity for each customer, and the control records of the changes of a day. */
 export const CONFIGURATION_EXPERIMENTS: readonly Experiment[] = [
   { name: 'configuration', sizes: [1_000, 7_000, 31_000], measure: measureEntities },
   { name: 'control records', sizes: [100, 1_000, 10_000], measure: measureRecords },
--- a/packages/capacity/measures/daemons.ts
+++ b/packages/capacity/measures/daemons.ts
@@ -7,30 +7,30 @@
 import { startCluster } from '../../cluster/startCluster.js';
 import type { Cluster, ClusterOptions } from '../../cluster/types.js';
 
-/** Streams at once while the cost of a token is measured. */
+/** Concurrent streams while the processor time of a stream is measured. */
 const CONCURRENT_STREAMS = 64;
 
-/** Engines that carry the streams of one entry daemon. */
+/** Engines that serve the streams of one entry daemon. */
 const ENGINE_COUNT = 4;
 
 const END_MARK = 'data: [DONE]\n\n';
 
-/** Drain of the daemons; nothing is measured after their streams. */
+/** Drain time of the daemons; short, as nothing is measured after the streams. */
 const DRAIN_TIMEOUT_MS = 500;
 
-/** Time in which daemons without work are watched; their timers have periods below a second. */
+/** Measured time of idle daemons; it covers several periods of their timers, which are below 1 s. */
 const IDLE_MEASUREMENT_MS = 6_000;
 
-/** Time after the start in which code is compiled and connections are opened. */
+/** Time before an idle measurement, in which code is compiled and connections are opened. */
 const SETTLE_MS = 3_000;
 
-/** Tokens of the streams before the measured ones. */
+/** Tokens of each stream of the warm-up before a measurement. */
 const WARM_UP_TOKENS = 60;
 
-/** Tokens of streams that must last as long as memory is looked at. */
+/** Tokens of each stream that must stay open until memory is read. */
 const LONG_STREAM_TOKENS = 1_000;
 
-/** An engine that never is the bottleneck; its sequences get a token every 50 ms or a little more. */
+/** An engine that is never the bottleneck; its sequences get a token every 50 ms or slightly later. */
 const ENGINE_OPTIONS = {
   memoryTokens: 50_000_000,
   warmUpMs: 0,
@@ -58,12 +58,13 @@
   }
 };
 
-/** A stream whose tokens are thrown away, so that the caller costs little beside the daemons. */
+/** A stream whose tokens are discarded, so that the caller uses little processor time. */
 interface OpenStream {
   readonly ended: Promise<'done' | 'cut'>;
   readonly abort: () => void;
 }
 
+/** Reads a stream to its end; it is `cut` when it fails or ends without its end mark. */
 const readStream = async (body: Dispatcher.ResponseData['body']): Promise<'done' | 'cut'> => {
   let tail = '';
   try {
@@ -74,7 +75,7 @@
   return tail === END_MARK ? 'done' : 'cut';
 };
 
-/** Resolves with the first token, so that an endpoint daemon admits streams one after another. */
+/** Resolves at the first token, so that an endpoint daemon admits the streams one after another. */
 const openStream = async (cluster: Cluster, tokens: number, index: number): Promise<OpenStream> => {
   const key = Object.values(cluster.customerKeys)[0] ?? '';
   const content = `Draft memo ${index.toString()} on the cash position of the group.`;
@@ -114,7 +115,7 @@
 const runStreams = async (cluster: Cluster, tokens: number): Promise<void> => {
   const streams = await openStreams(cluster, CONCURRENT_STREAMS, tokens);
   const outcomes = await Promise.all(streams.map(({ ended }) => ended));
-  if (outcomes.includes('cut')) throw new Error('a stream was cut');
+  if (outcomes.includes('cut')) throw new Error('a stream ended before its end mark');
 };
 
 const sumProcessorTime = (pids: readonly number[]): number =>
@@ -150,7 +151,7 @@
     return bytes;
   });
 
-/** Processor time for one second without work. */
+/** Measures the processor time of an idle process, in microseconds per second. */
 const measureIdle = async (pid: number): Promise<number> => {
   await sleep(SETTLE_MS);
   const before = readProcessorTime(pid);
@@ -169,7 +170,7 @@
     'endpoint.idle-time': await measureIdle(listPids(cluster, 'endpoint')[0] ?? 0),
   }));
 
-/** Streams through whole daemons, with stand-ins of engine and platform beside them. */
+/** Streams through daemon processes, with stand-ins for the engine and the platform. */
 export const DAEMON_STREAM_EXPERIMENTS: readonly Experiment[] = [
   { name: 'tokens through both daemons', sizes: [20, 80, 240], measure: measureTokenTime },
   {
@@ -181,7 +182,7 @@
   },
 ];
 
-/** Whole daemons with little or no work. */
+/** Daemon processes that are idle or hold a few streams. */
 export const DAEMON_REST_EXPERIMENTS: readonly Experiment[] = [
   {
     name: 'memory of the endpoint daemon',
@@ -190,6 +191,6 @@
       'endpoint.resident': await measureResidentMemory('endpoint', 1, streams),
     }),
   },
-  { name: 'entry daemon without work', sizes: [1, 4, 12], measure: measureIdleEntry },
-  { name: 'endpoint daemon without work', sizes: [1, 2, 4], measure: measureIdleEndpoint },
+  { name: 'idle entry daemon', sizes: [1, 4, 12], measure: measureIdleEntry },
+  { name: 'idle endpoint daemon', sizes: [1, 2, 4], measure: measureIdleEndpoint },
 ];
--- a/packages/capacity/measures/endpoints.ts
+++ b/packages/capacity/measures/endpoints.ts
@@ -110,8 +110,8 @@
   return { 'endpoint.sweep-time': measureDuration(sweep) };
 };
 
-/** Periodic work of an endpoint daemon and the cost of one admission. */
+/** Periodic work of an endpoint daemon, and the processor time of one admission. */
 export const ENDPOINT_EXPERIMENTS: readonly Experiment[] = [
   { name: 'admission limit', sizes: [8, 64, 256, 1_024], measure: measureAdmission },
-  { name: 'sweep of streams', sizes: [8, 64, 256, 1_024], measure: measureSweep },
+  { name: 'stream sweep', sizes: [8, 64, 256, 1_024], measure: measureSweep },
 ];
--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -23,7 +23,7 @@
   latestStartAt: NOW + 30_000,
 });
 
-/** The bounds lie above the number of customers, so that each of them can have a place. */
+/** Creates a queue whose bounds exceed the number of customers, so that it sheds no request. */
 const createEmptyQueue = (customers: number): QueueState =>
   createQueueState({
     maxWaiting: customers * 4,
@@ -31,7 +31,10 @@
     retryAfterMs: 1_000,
   });
 
-/** Every customer has one request in the queue, the most that the fair shares can hold. */
+/**
+ * Builds a queue with one waiting request of every customer, so that it holds a fair share for each
+ * of them, which is the maximum.
+ */
 const buildQueue = (customers: number): QueueState => {
   const requests = Array.from({ length: customers }, (_, index) =>
     buildRequest(formatCustomer(index)),
@@ -84,12 +87,12 @@
     ),
   );
   if (budgets.state.getSize() !== customers || keys.state.findHolder('Bearer x') !== undefined) {
-    throw new Error('a table has other entries than it was given');
+    throw new Error('a table does not hold the entries that were added');
   }
   return { 'fairness.budgets': budgets.bytes, 'fairness.keys': keys.bytes };
 };
 
-/** State that an entry daemon may hold for each customer. */
+/** State that an entry daemon can hold for each customer. */
 export const FAIRNESS_EXPERIMENTS: readonly Experiment[] = [
   { name: 'fair queue', sizes: [1_000, 7_000, 28_000], measure: measureQueue },
   { name: 'customer tables', sizes: [1_000, 7_000, 28_000], measure: measureCustomerTables },
--- a/packages/capacity/measures/heartbeatCalls.ts
+++ b/packages/capacity/measures/heartbeatCalls.ts
@@ -11,7 +11,7 @@
 import { createHeartbeatServer } from '../../entry/membership/heartbeatServer.js';
 import { createMembershipLogic } from '../../entry/membership/membership.js';
 
-/** What the sending process is told to do. */
+/** Command to the process that sends the heartbeats. */
 export type SenderCommand =
   | { readonly kind: 'connect'; readonly endpoints: number }
   | { readonly kind: 'send-rounds'; readonly url: string; readonly rounds: number }
@@ -21,7 +21,7 @@
   readonly kind: 'done';
 }
 
-/** Heartbeats in one measurement, so that small fleets are measured over several rounds. */
+/** Minimum of heartbeats in one measurement, so that small fleets are measured over several rounds. */
 const HEARTBEATS_PER_MEASUREMENT = 4_096;
 const SOCKET_CHANNEL = 'net.server.socket';
 
@@ -30,7 +30,7 @@
   readonly sent: number;
 }
 
-/** Collects the connections that this process accepts. */
+/** Tracks the connections that this process accepts, to count their bytes. */
 const trackSockets = () => {
   const sockets: Socket[] = [];
   const collectSocket = (message: unknown): void => {
@@ -101,7 +101,10 @@
   };
 };
 
-/** Rounds of one heartbeat from each endpoint over loopback; only the receiving process is counted. */
+/**
+ * Rounds of one heartbeat from each endpoint over loopback; only the processor time of the receiving
+ * process is counted.
+ */
 export const HEARTBEAT_CALL_EXPERIMENTS: readonly Experiment[] = [
   { name: 'heartbeat calls', sizes: [8, 64, 512, 2_048], measure: measureCalls },
 ];
--- a/packages/capacity/measures/heartbeatSender.ts
+++ b/packages/capacity/measures/heartbeatSender.ts
@@ -1,4 +1,4 @@
-/** Process that stands for the endpoint daemons of `heartbeatCalls.ts`. */
+/** Process that sends the heartbeats of all endpoint daemons for `heartbeatCalls.ts`. */
 import { buildHeartbeat } from './heartbeats.js';
 import type { SenderCommand, SenderReport } from './heartbeatCalls.js';
 import type { EndpointEvent, HeartbeatContent } from '../../endpoint/types.js';
@@ -7,7 +7,7 @@
 
 const TIMEOUT_MS = 60_000;
 
-/** Calls under way at once; a real fleet spreads its heartbeats over the interval. */
+/** Maximum of concurrent calls; a real fleet spreads its heartbeats over the interval. */
 const MAX_IN_FLIGHT = 16;
 
 interface Sender {
--- a/packages/capacity/measures/heartbeats.ts
+++ b/packages/capacity/measures/heartbeats.ts
@@ -14,7 +14,7 @@
 import { DEFAULT_SUBSET_SIZE } from '../../settings/constants.js';
 import { HeartbeatRequestSchema } from '../../wire/gen/chestnutspan/v1/chestnutspan_pb.js';
 
-/** Instant of all measurements that take time as an input. */
+/** Fixed time for all decisions that take the current time as an input. */
 const NOW = 1_800_000_000_000;
 
 const buildEvidence = (rows: number): readonly EvidenceCounters[] =>
@@ -33,10 +33,10 @@
   Array.from({ length: HEARTBEAT_PREFIXES }, () => createId().replaceAll('-', '').slice(16));
 
 /**
- * Builds the heartbeat of one endpoint of the target size.
+ * Builds the heartbeat of one endpoint, with fields as long as at the target size.
  *
  * @param index - number of the endpoint
- * @param evidenceRows - routes and classes with counters
+ * @param evidenceRows - number of rows of counters, one for each route and class
  * @returns the heartbeat as an entry daemon receives it
  */
 export const buildHeartbeat = (
@@ -123,7 +123,7 @@
 
 const HASH_BYTES = 6;
 
-/** The hash that the wiring of the endpoint daemon passes to the choice. */
+/** Hashes a string as the endpoint daemon does when it chooses its heartbeat targets. */
 const hashString = (value: string): number =>
   createHash('sha256').update(value).digest().readUIntBE(0, HASH_BYTES);
 
@@ -135,7 +135,7 @@
   return { 'heartbeat.targets-time': measureDuration(chooseTargets) };
 };
 
-/** Heartbeats as the decisions of both daemons see them. */
+/** Heartbeats in the decisions of the entry and the endpoint daemon, without the network. */
 export const HEARTBEAT_EXPERIMENTS: readonly Experiment[] = [
   { name: 'heartbeats', sizes: [8, 64, 512, 2_048], measure: measureDecisions },
   { name: 'heartbeat message', sizes: [0, 8, 64, 256], measure: measureMessage },
--- a/packages/capacity/measures/instanceList.ts
+++ b/packages/capacity/measures/instanceList.ts
@@ -36,7 +36,10 @@
   return processorTime / MEASURED_READS;
 };
 
-/** The answer is built before, so that the server adds little more than the write to the socket. */
+/**
+ * Measures reads of the list. The response body is built in advance, so that the server, which runs
+ * in this process, adds little more than the write to the socket.
+ */
 const measureList = async (instances: number) => {
   const list = Array.from({ length: instances }, (_, index) => buildInstance(index));
   const body = Buffer.from(JSON.stringify({ instances: list }));
--- a/packages/capacity/measures/intents.ts
+++ b/packages/capacity/measures/intents.ts
@@ -14,7 +14,7 @@
 const CARRY_AFTER_MS = 3_600_000;
 const DIGEST = 'h'.repeat(43);
 
-/** The records of a key that runs once without trouble: one intent and one outcome. */
+/** Builds the records of a key whose request runs once without failure: an intent and an outcome. */
 const buildChain = (index: number): readonly ChainRecord[] => {
   const keyFields = {
     format: 1,
@@ -40,7 +40,7 @@
 };
 
 /**
- * Builds the records of keys that run once without trouble.
+ * Builds the records of keys whose requests run once without failure.
  *
  * @param chains - number of keys
  * @returns records as JSON, two for each key
@@ -50,7 +50,7 @@
     .flat()
     .map((record) => JSON.stringify(record));
 
-/** Reads and folds a whole stream, as the child `intents` does with the pages of the log. */
+/** Parses and folds a whole stream, as the child `intents` does with the pages of the log. */
 const foldStream = (lines: readonly string[]): IntentTable => {
   const table = createIntentTable(DEFAULT_KEY_SETTINGS);
   foldIntentBatch(table, { firstOffset: 0, nextOffset: 0, records: [], end: 'reached' }, NOW);
--- a/packages/capacity/measures/logReads.ts
+++ b/packages/capacity/measures/logReads.ts
@@ -9,7 +9,7 @@
 const NOW = 1_800_000_000_000;
 const RECORDS_PER_CHAIN = 2;
 
-/** Pages of a stream, each with as many records as the readers of entry daemons ask for. */
+/** Builds the pages of a stream, each with as many records as the entry daemons request. */
 const buildPages = (records: number): readonly Buffer[] => {
   const lines = buildIntentLines(records / RECORDS_PER_CHAIN);
   const pages: Buffer[] = [];
@@ -58,7 +58,7 @@
   };
 };
 
-/** A daemon that starts reads a stream of the log from its beginning. */
+/** Reads of a whole stream of the log, as a starting daemon makes them. */
 export const LOG_EXPERIMENTS: readonly Experiment[] = [
   { name: 'log reads', sizes: [1_000, 5_000, 20_000], measure: measureReads },
 ];
--- a/packages/capacity/measures/loopback.ts
+++ b/packages/capacity/measures/loopback.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 
 /**
- * Starts a server on a free port of the loopback interface.
+ * Starts a server on an ephemeral port of the loopback interface.
  *
  * @param server - server that is not listening yet
  * @returns its base URL
--- a/packages/capacity/measures/moves.ts
+++ b/packages/capacity/measures/moves.ts
@@ -45,7 +45,7 @@
 const startMoves = (logic: Logic): MovesState =>
   logic.decide(logic.init().state, { to: 'moves', kind: 'configuration-updated' }).state;
 
-/** Counters that differ from the last ones, as those of an endpoint at work do. */
+/** Returns the heartbeat with increased counters, as a serving endpoint sends them. */
 const addSuccesses = (heartbeat: ReceivedHeartbeat, added: number): ReceivedHeartbeat => ({
   ...heartbeat,
   evidence: heartbeat.evidence.map((row) => ({ ...row, successes: row.successes + added })),
@@ -73,7 +73,7 @@
   return { 'moves.evidence-state': built.bytes, 'moves.evidence-time': roundTime };
 };
 
-/** Time for one ended move at one change of the configuration. */
+/** Measures the processor time that a configuration change takes for each ended move. */
 const measureEndedMoves = (moves: number) => {
   const logic = createLogic(Array.from({ length: moves }, (_, index) => buildMove(index, 'ended')));
   let state = startMoves(logic);
@@ -83,8 +83,8 @@
   return { 'moves.configuration-time': (getProcessorTime() - startedAt) / moves };
 };
 
-/** Evidence of one running move, and moves that have ended. */
+/** Evidence of one running move, and configuration changes with ended moves. */
 export const MOVE_EXPERIMENTS: readonly Experiment[] = [
-  { name: 'evidence of a move', sizes: [8, 64, 512, 2_048], measure: measureEvidence },
+  { name: 'move evidence', sizes: [8, 64, 512, 2_048], measure: measureEvidence },
   { name: 'ended moves', sizes: [64, 256, 1_024], measure: measureEndedMoves },
 ];
--- a/packages/capacity/measures/placement.ts
+++ b/packages/capacity/measures/placement.ts
@@ -61,7 +61,7 @@
   return { 'placement.decision-time': roundTime / DECISIONS_PER_ROUND };
 };
 
-/** One placement decision with 2,000 own placements in flight. */
+/** One placement decision of an entry daemon that has 2,000 placements of its own in flight. */
 export const PLACEMENT_EXPERIMENTS: readonly Experiment[] = [
   { name: 'placement', sizes: [8, 64, 512, 2_048], measure: measureDecision },
 ];
--- a/packages/capacity/measures/streams.ts
+++ b/packages/capacity/measures/streams.ts
@@ -9,7 +9,7 @@
 
 const NOW = 1_800_000_000_000;
 
-/** One token as the engine's choices list carries it. */
+/** Builds the chunk of one token, in the form of the engine's `choices` list. */
 const buildChunk = (number: number): string =>
   `[{"index":0,"delta":{"content":" token${number.toString()}"},"finish_reason":null}]`;
 
@@ -63,7 +63,7 @@
     for (let index = 0; index < streams; index += 1) states.set(createId(), openBuffer(createId()));
     return states;
   });
-  // Both tables must outlive their measurement.
+  // Using both tables here keeps them from being collected before they are measured.
   if (deliveries.state.size !== buffers.state.size) throw new Error('a stream is missing');
   return { 'stream.delivery-state': deliveries.bytes, 'stream.buffer-state': buffers.bytes };
 };
@@ -111,7 +111,7 @@
   return { 'stream.buffer-chunk-state': kept.bytes };
 };
 
-/** Streams of generations at both daemons, as far as the decisions hold them. */
+/** Streams of generations in the decisions of the entry and the endpoint daemon. */
 export const STREAM_EXPERIMENTS: readonly Experiment[] = [
   { name: 'stream state', sizes: [500, 2_000, 8_000], measure: measureStreamStates },
   { name: 'stream chunks', sizes: [1_000, 4_000, 16_000], measure: measureChunks },
--- a/packages/capacity/measures/survival.ts
+++ b/packages/capacity/measures/survival.ts
@@ -11,7 +11,7 @@
       const customer = `customer-${(index % keys).toString()}`;
       table.observeFinished({ className: 'memo', customer, version: 'v1' }, 100 + (index % 900));
     }
-    // A key that is asked for also holds its curve.
+    // A key also holds its curve once the curve was requested.
     for (let index = 0; index < keys; index += 1) {
       table.getCurve({
         className: 'memo',
--- a/packages/capacity/sampling/duration.ts
+++ b/packages/capacity/sampling/duration.ts
@@ -6,8 +6,9 @@
 };
 
 /**
- * Returns the processor time of this process so far, with its compiler and collector threads.
- * Unlike the clock, it leaves out the time in which other processes had the core.
+ * Returns the processor time of this process so far, including the threads of the compiler and the
+ * garbage collector. Unlike wall-clock time, it excludes the time in which other processes ran on
+ * the core.
  *
  * @returns microseconds
  */
@@ -33,9 +34,9 @@
 };
 
 /**
- * Measures how much processor time a piece of work takes.
+ * Measures the processor time of a task.
  *
- * @param task - work to repeat; its effects on the state must not make later rounds cheaper
+ * @param task - task to repeat; its effects on the state must not make later rounds cheaper
  * @returns median of the rounds in microseconds
  */
 export const measureDuration = (task: () => void): number => {
--- a/packages/capacity/sampling/memory.ts
+++ b/packages/capacity/sampling/memory.ts
@@ -1,5 +1,5 @@
 const measureUsedBytes = (): number => {
-  if (globalThis.gc === undefined) throw new Error('run node with --expose-gc');
+  if (globalThis.gc === undefined) throw new Error('measuring memory requires node --expose-gc');
   globalThis.gc();
   globalThis.gc();
   const { heapUsed, arrayBuffers } = process.memoryUsage();
@@ -7,11 +7,12 @@
 };
 
 /**
- * Measures the memory that a structure holds: the heap and typed arrays after it was built, less
- * what they were before.
+ * Measures the memory that a structure holds: the growth of the heap and of array buffers while it
+ * is built.
  *
- * @param build - builds the structure; inputs that it does not keep must be built inside
- * @returns bytes, and the structure, which must stay alive for the measurement
+ * @param build - builds the structure; inputs that the structure does not keep must be built inside
+ * @returns bytes, and the structure, which must stay reachable until it is measured
+ * @throws Error when Node runs without `--expose-gc`
  */
 export const measureMemory = <State>(
   build: () => State,
--- a/packages/capacity/sampling/processes.ts
+++ b/packages/capacity/sampling/processes.ts
@@ -4,9 +4,10 @@
 const BYTES_PER_KILOBYTE = 1_024;
 
 /**
- * Reads the processor time that a process of this machine has used, over all its threads.
+ * Reads the processor time that the threads of a local process have used so far. Threads that have
+ * ended are not counted.
  *
- * @param pid - id of the process
+ * @param pid - process id
  * @returns microseconds
  */
 export const readProcessorTime = (pid: number): number => {
@@ -18,14 +19,16 @@
 };
 
 /**
- * Reads the memory that a process of this machine holds.
+ * Reads the resident memory of a local process.
  *
- * @param pid - id of the process
+ * @param pid - process id
  * @returns resident bytes
+ * @throws Error when the process has no resident memory, as after its exit
  */
 export const readResidentBytes = (pid: number): number => {
   const status = readFileSync(`/proc/${pid.toString()}/status`, 'utf8');
   const kilobytes = /^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1];
-  if (kilobytes === undefined) throw new Error(`process ${pid.toString()} shows no memory`);
+  if (kilobytes === undefined)
+    throw new Error(`process ${pid.toString()} has no VmRSS in its status`);
   return Number(kilobytes) * BYTES_PER_KILOBYTE;
 };
