--- a/packages/capacity/capacity.bench.ts
+++ b/packages/capacity/capacity.bench.ts
@@ -1,6 +1,7 @@
 /**
- * Measures how state, messages, time and memory grow with the sizes of docs/CAPACITY.md. An argument
- * names the part to run: `modules`, `streams` or `rest`; without one, all run.
+ * Entry point of `npm run bench:capacity`: measures how state, messages, time and memory grow with
+ * the sizes of docs/CAPACITY.md. An argument names the part to run: `modules`, `streams` or `rest`;
+ * without one, all parts run.
  */
 import { execFileSync } from 'node:child_process';
 import { mkdirSync, writeFileSync } from 'node:fs';
@@ -43,4 +44,4 @@
 const path = `${RESULTS_DIRECTORY}/capacity-${parts.join('-')}-${timestamp}.json`;
 writeFileSync(path, `${JSON.stringify({ bench: 'capacity', parts, origin, results }, null, 2)}\n`);
 console.log(formatTable(results));
-console.log(`\n${JSON.stringify(origin)}\nwritten to ${path}`);
+console.log(`\n${JSON.stringify(origin)}\nwrote ${path}`);
--- a/packages/capacity/capacity.test.ts
+++ b/packages/capacity/capacity.test.ts
@@ -14,13 +14,13 @@
 const table = SLOPES.exec(page)?.[1] ?? '';
 const listedMeasures = [...table.matchAll(ROW)].map(([, name]) => name ?? '');
 
-// Guards against a figure on the page that no run of the bench can reproduce.
+// Guards against a figure of the page that no run of the bench can reproduce.
 test('the table of slopes lists exactly the measures of the bench', (t) => {
   t.deepEqual([...listedMeasures].sort(), [...measureNames].sort());
 });
 
-// Guards against a line of the page that is worked out from a slope that was renamed or removed.
-test('every measure that the page cites is in the list of the bench', (t) => {
+// Guards against a line of the page that is derived from a renamed or removed measure.
+test('every measure that the page cites is a measure of the bench', (t) => {
   const prefixes = new Set(measureNames.map((name) => name.split('.')[0]));
   const citedMeasures = [...page.matchAll(CITED)]
     .map(([, name]) => name ?? '')
@@ -32,14 +32,14 @@
   );
 });
 
-// Guards against a line through two points, whose residual is always nil.
+// Guards against a line through two points, whose residual is always zero.
 test('every experiment measures at three sizes or more', (t) => {
   for (const { name, sizes } of PARTS.flatMap(listExperiments))
     t.true(new Set(sizes).size >= 3, name);
 });
 
-// Guards against a measure of the list that no experiment takes, or that a fit mixes with another one.
-test('results hold one line for each measure with its own points', async (t) => {
+// Guards against a measure that is left out of the results, or fitted to the points of another one.
+test('results hold one line for each measure, fitted to its own points', async (t) => {
   const measure = (size: number) =>
     ({ 'list.answer': 5 + 2 * size, 'survival.state': 7 * size }) satisfies Partial<
       Record<MeasureName, number>
--- a/packages/capacity/fit/estimateLine.test.ts
+++ b/packages/capacity/fit/estimateLine.test.ts
@@ -2,8 +2,8 @@
 import fc from 'fast-check';
 import { estimateLine } from './estimateLine.js';
 
-// Guards against a slope or an intercept that is off for points that lie on a line.
-test('points on a line give back the line without residual', (t) => {
+// Guards against a wrong slope or intercept for points that lie on a line.
+test('points on a line give that line with a residual of zero', (t) => {
   const parameter = fc.double({ min: -1_000, max: 1_000, noNaN: true });
   const sizes = fc.uniqueArray(fc.integer({ min: 1, max: 50_000 }), {
     minLength: 3,
@@ -24,7 +24,7 @@
   });
 });
 
-// Guards against a residual that is scaled by the number of points or loses its root.
+// Guards against a residual that grows with the number of points or lacks the square root.
 test('points off the line give the least-squares line and its residual', (t) => {
   const line = estimateLine([
     { size: 0, value: 0 },
@@ -37,7 +37,7 @@
 });
 
 // Guards against a division by zero that would write NaN into the results.
-test('points of one size are refused', (t) => {
+test('points of a single size and no points are rejected', (t) => {
   const point = { size: 8, value: 1 };
   t.throws(() => estimateLine([point, point]), { instanceOf: RangeError });
   t.throws(() => estimateLine([]), { instanceOf: RangeError });
--- a/packages/capacity/fit/estimateLine.ts
+++ b/packages/capacity/fit/estimateLine.ts
@@ -7,7 +7,7 @@
  * Fits a straight line to points by least squares.
  *
  * @param points - measured points of at least two different sizes
- * @returns slope, intercept and the root of the mean squared residual
+ * @returns slope, intercept and the root mean square of the residuals
  * @throws RangeError when the points do not determine a line
  */
 export const estimateLine = (points: readonly Point[]): Line => {
--- a/packages/capacity/formatTable.ts
+++ b/packages/capacity/formatTable.ts
@@ -3,10 +3,10 @@
 const SIGNIFICANT_DIGITS = 3;
 
 /**
- * Formats a figure with three significant digits.
+ * Formats a number with three significant digits.
  *
- * @param value - any number
- * @returns text without an exponent
+ * @param value - number to format
+ * @returns decimal notation with grouping, without an exponent
  */
 export const formatFigure = (value: number): string =>
   Number(value.toPrecision(SIGNIFICANT_DIGITS)).toLocaleString('en', {
@@ -27,10 +27,10 @@
 };
 
 /**
- * Formats measures as a Markdown table; the points themselves are in the JSON file.
+ * Formats results as a Markdown table. It lists the sizes only; the values are in the JSON file.
  *
- * @param results - fitted measures
- * @returns the table, one row for each measure
+ * @param results - measures with their fitted lines
+ * @returns the table with one row for each measure
  */
 export const formatTable = (results: readonly MeasureResult[]): string =>
   [
--- a/packages/capacity/runCapacity.ts
+++ b/packages/capacity/runCapacity.ts
@@ -16,10 +16,16 @@
 import type { Experiment, MeasuredValues, MeasureResult, Point } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-/** `modules` runs in this process; the other parts start clusters of processes. */
+/**
+ * `modules` measures single modules in this process; `streams` and `rest` start clusters of
+ * processes.
+ */
 export type Part = 'modules' | 'streams' | 'rest';
 
-/** Memory is measured before the calls over loopback, whose late clean-up would count as state. */
+/**
+ * Experiments of the part `modules`. Memory is measured before the calls over loopback, because
+ * their connections are released late and would count as state.
+ */
 const MODULE_EXPERIMENTS: readonly Experiment[] = [
   ...SURVIVAL_EXPERIMENTS,
   ...FAIRNESS_EXPERIMENTS,
@@ -63,10 +69,11 @@
 }
 
 /**
- * Fits a line to each measure of a run.
+ * Fits a line to the values of each measure.
  *
- * @param measured - values by size
- * @returns one result for each measure that has values, in the order of the catalogue
+ * @param measured - measured values of each size
+ * @returns one result for each measure with values, in the order of the catalogue
+ * @throws RangeError when a measure has values of one size only
  */
 export const toResults = (measured: readonly SizedValues[]): readonly MeasureResult[] =>
   MEASURES.flatMap(({ name, size: sizeUnit, value: valueUnit }) => {
@@ -79,11 +86,11 @@
   });
 
 /**
- * Runs experiments one after another.
+ * Runs experiments one after another, each at all its sizes.
  *
- * @param experiments - what to measure
- * @param notify - called before each experiment with its name
- * @returns the fitted measures
+ * @param experiments - experiments in the order in which they run
+ * @param notify - called with the name of each experiment before it runs
+ * @returns one result for each measure, with its fitted line
  */
 export const runExperiments = async (
   experiments: readonly Experiment[],
--- a/packages/capacity/types.ts
+++ b/packages/capacity/types.ts
@@ -10,22 +10,22 @@
 export interface Line {
   readonly slope: number;
   readonly intercept: number;
-  /** Root of the mean squared distance of the points from the line, in the unit of the values. */
+  /** Root mean square of the distances of the points from the line, in the unit of the values. */
   readonly residual: number;
 }
 
-/** Values of one run at one size, by measure. */
+/** Values of one run of an experiment at one size, by measure. */
 export type MeasuredValues = Readonly<Partial<Record<MeasureName, number>>>;
 
-/** One or more measures that are taken together, each at the same sizes. */
+/** Experiment that takes one or more measures together, at the same sizes. */
 export interface Experiment {
   readonly name: string;
   readonly sizes: readonly number[];
-  /** Measures at one size. */
+  /** Runs the experiment at one size. */
   readonly measure: (size: number) => Promise<MeasuredValues> | MeasuredValues;
 }
 
-/** Points of one measure with the line through them. */
+/** Points of one measure, with the line that was fitted to them. */
 export interface MeasureResult {
   readonly measure: MeasureName;
   readonly sizeUnit: string;
@@ -34,7 +34,7 @@
   readonly line: Line;
 }
 
-/** Where and when a run was made. */
+/** Time, commit and machine of a run. */
 export interface RunOrigin {
   readonly startedAt: string;
   readonly commit: string;
