Say number in the comments of limits of the benches

"Maximum of failures" and "minimum of rounds" now say number; the fair queue of the capacity bench says why one waiting request of every customer is its largest state.

--- a/packages/bench/clusters.ts
+++ b/packages/bench/clusters.ts
@@ -30,7 +30,7 @@
   drainMs: 1_000,
 };
 
-/** Each of the 4 engines serves 50 of 200 streams, which makes its step 30 ms long. */
+/** Number of engines; each of the 4 serves 50 of 200 streams, which makes its step 30 ms long. */
 export const LATENCY_ENGINE_COUNT = 4;
 
 /**
@@ -48,7 +48,7 @@
   ...(profileDirectory === undefined ? {} : { profileDirectory }),
 });
 
-/** Each of the 10 engines serves up to 200 of 2,000 streams, which makes its step 20 to 50 ms long. */
+/** Number of engines; each of the 10 serves up to 200 of 2,000 streams, in steps of 20 to 50 ms. */
 export const CAPACITY_ENGINE_COUNT = 10;
 
 /**
--- a/packages/bench/constants.ts
+++ b/packages/bench/constants.ts
@@ -12,7 +12,7 @@
 /** Resolution at which the client's event-loop delay is measured; the smallest that Node accepts. */
 export const LOOP_DELAY_RESOLUTION_MS: Millis = 1;
 
-/** Maximum of failures whose messages are reported; further ones are only counted. */
+/** Maximum number of failures whose messages are reported; further ones are only counted. */
 export const MAX_REPORTED_FAILURES = 5;
 
 /** Default seed of the random pauses between the requests of a caller. */
--- a/packages/capacity/constants.ts
+++ b/packages/capacity/constants.ts
@@ -1,12 +1,12 @@
 /** Timed rounds of a measurement; their median keeps a disturbed round out of the result. */
 export const TIMED_ROUNDS = 25;
 
-/** Minimum of rounds, which also run when a round takes a second. */
+/** Minimum number of timed rounds, which run even when each takes a second. */
 export const MIN_ROUNDS = 5;
 
 /**
- * Time after which a measurement ends once it has the minimum of rounds; it keeps a whole run within
- * minutes.
+ * Time after which a measurement ends once it has the minimum number of rounds; it keeps a whole run
+ * within minutes.
  */
 export const MAX_TIMED_MS = 500;
 
--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -32,8 +32,8 @@
   });
 
 /**
- * Builds a queue with one waiting request of every customer, so that it holds a fair share for each
- * of them, which is the maximum.
+ * Builds a queue with one waiting request of every customer. Fair shares are tracked for customers
+ * with waiting requests, so this is their largest number.
  */
 const buildQueue = (customers: number): QueueState => {
   const requests = Array.from({ length: customers }, (_, index) =>
--- a/packages/capacity/measures/heartbeatCalls.ts
+++ b/packages/capacity/measures/heartbeatCalls.ts
@@ -21,7 +21,7 @@
   readonly kind: 'done';
 }
 
-/** Minimum of heartbeats in one measurement, so that small fleets are measured over several rounds. */
+/** Minimum number of heartbeats in a measurement; small fleets send them over several rounds. */
 const HEARTBEATS_PER_MEASUREMENT = 4_096;
 const SOCKET_CHANNEL = 'net.server.socket';
 
--- a/packages/capacity/measures/heartbeatSender.ts
+++ b/packages/capacity/measures/heartbeatSender.ts
@@ -7,7 +7,7 @@
 
 const TIMEOUT_MS = 60_000;
 
-/** Maximum of concurrent calls; a real fleet spreads its heartbeats over the interval. */
+/** Maximum number of concurrent calls; a real fleet spreads its heartbeats over the interval. */
 const MAX_IN_FLIGHT = 16;
 
 interface Sender {
--- a/packages/capacity/sampling/processes.ts
+++ b/packages/capacity/sampling/processes.ts
@@ -23,7 +23,7 @@
  *
  * @param pid - process id
  * @returns resident bytes
- * @throws Error when the process has no resident memory, as after its exit
+ * @throws Error when the process has exited or its status shows no resident memory
  */
 export const readResidentBytes = (pid: number): number => {
   const status = readFileSync(`/proc/${pid.toString()}/status`, 'utf8');
