--- a/packages/bench/callers/callersChild.test.ts
+++ b/packages/bench/callers/callersChild.test.ts
@@ -28,8 +28,8 @@
   return { clock, decide, receive, getState: () => state };
 };
 
-// Guards against a gap that is lost when tokens arrive together, and against an end mark that counts
-// as a token.
+// Guards against a gap that is lost when tokens arrive together, and against an end mark that is
+// counted as a token.
 test('tokens that arrive together are counted one by one, and the end mark is not counted', (t) => {
   const { clock, receive, getState } = startCallers();
   clock.advance(40);
--- a/packages/bench/client/eventCounter.test.ts
+++ b/packages/bench/client/eventCounter.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { createEventCounter } from './eventCounter.js';
 
-// Guards against tokens that are lost or counted twice where the network splits a stream into reads.
+// Guards against tokens that are lost or counted twice where a stream is split into several reads.
 test('every event is counted once wherever the stream is split', (t) => {
   const stream = Buffer.from(
     'id: a.0\ndata: {"n":0}\n\ndata: {"n":1}\n\ndata: {"n":2}\n\ndata: [DONE]\n\n',
--- a/packages/bench/constants.ts
+++ b/packages/bench/constants.ts
@@ -9,7 +9,7 @@
 /** Period at which memory and processor time are sampled. */
 export const SAMPLE_PERIOD_MS: Millis = 500;
 
-/** Resolution at which the client's event-loop delay is measured; the smallest that Node accepts. */
+/** Resolution of the client's event-loop delay measurement; the smallest that Node accepts. */
 export const LOOP_DELAY_RESOLUTION_MS: Millis = 1;
 
 /** Maximum number of failures whose messages are reported; further ones are only counted. */
--- a/packages/bench/types.ts
+++ b/packages/bench/types.ts
@@ -21,9 +21,9 @@
   /** Tokens of each answer. */
   readonly tokens: number;
   /**
-   * Maximum of the random pause before the next request of a caller. Without a pause, a request would
-   * follow directly on a token and always reach the engine at the start of a step, which hides a
-   * short added delay.
+   * Maximum of the random pause before the next request of a caller. Without a pause, a request
+   * would follow directly on a token and always reach the engine at the start of a step, which hides
+   * a short added delay.
    */
   readonly maxPauseMs: Millis;
   /** Whether streams that are open after the last stage run to their end or are aborted. */
--- a/packages/capacity/constants.ts
+++ b/packages/capacity/constants.ts
@@ -5,15 +5,15 @@
 export const MIN_ROUNDS = 5;
 
 /**
- * Time after which a measurement ends once it has the minimum number of rounds; it keeps a whole run
- * within minutes.
+ * Time after which a measurement ends once it has the minimum number of rounds; it keeps a whole
+ * run within minutes.
  */
 export const MAX_TIMED_MS = 500;
 
 /** Warm-up before the first timed round, in which the JIT compiler optimises the code. */
 export const WARM_UP_MS = 200;
 
-/** Minimum duration of a timed round; the resolution of processor time is too low for shorter ones. */
+/** Minimum duration of a timed round; processor time is too coarse for shorter ones. */
 export const MIN_ROUND_MS = 5;
 
 /**
--- a/packages/capacity/measures/catalogue.ts
+++ b/packages/capacity/measures/catalogue.ts
@@ -1,6 +1,6 @@
 /**
- * Measures of the bench, with the units of their sizes and values. The slopes in docs/CAPACITY.md go
- * by these names. Times are processor time.
+ * Measures of the bench, with the units of their sizes and values. The slopes in docs/CAPACITY.md
+ * have these names. Times are processor time.
  */
 export const MEASURES = [
   { name: 'heartbeat.round-time', size: 'endpoints', value: 'µs' },
--- a/packages/capacity/measures/configuration.ts
+++ b/packages/capacity/measures/configuration.ts
@@ -108,7 +108,7 @@
   ).reduce((sum, bytes) => sum + bytes, 0),
 });
 
-/** Configuration with an entity for each customer, and the control records of the changes of a day. */
+/** Configuration with an entity for each customer, and the control records of a day's changes. */
 export const CONFIGURATION_EXPERIMENTS: readonly Experiment[] = [
   { name: 'configuration', sizes: [1_000, 7_000, 31_000], measure: measureEntities },
   { name: 'control records', sizes: [100, 1_000, 10_000], measure: measureRecords },
--- a/packages/capacity/measures/daemons.ts
+++ b/packages/capacity/measures/daemons.ts
@@ -18,7 +18,7 @@
 /** Drain time of the daemons; short, as nothing is measured after the streams. */
 const DRAIN_TIMEOUT_MS = 500;
 
-/** Measured time of idle daemons; it covers several periods of their timers, which are below 1 s. */
+/** Measured time of idle daemons; it covers several periods of their timers, all below 1 s. */
 const IDLE_MEASUREMENT_MS = 6_000;
 
 /** Time before an idle measurement, in which code is compiled and connections are opened. */
@@ -30,7 +30,7 @@
 /** Tokens of each stream that must stay open until memory is read. */
 const LONG_STREAM_TOKENS = 1_000;
 
-/** An engine that is never the bottleneck; its sequences get a token every 50 ms or slightly later. */
+/** Engine that is never the bottleneck; its sequences get a token every 50 ms or slightly later. */
 const ENGINE_OPTIONS = {
   memoryTokens: 50_000_000,
   warmUpMs: 0,
--- a/packages/capacity/measures/heartbeatCalls.ts
+++ b/packages/capacity/measures/heartbeatCalls.ts
@@ -102,8 +102,8 @@
 };
 
 /**
- * Rounds of one heartbeat from each endpoint over loopback; only the processor time of the receiving
- * process is counted.
+ * Rounds of one heartbeat from each endpoint over loopback; only the processor time of the
+ * receiving process is counted.
  */
 export const HEARTBEAT_CALL_EXPERIMENTS: readonly Experiment[] = [
   { name: 'heartbeat calls', sizes: [8, 64, 512, 2_048], measure: measureCalls },
--- a/packages/capacity/measures/intents.ts
+++ b/packages/capacity/measures/intents.ts
@@ -14,7 +14,7 @@
 const CARRY_AFTER_MS = 3_600_000;
 const DIGEST = 'h'.repeat(43);
 
-/** Builds the records of a key whose request runs once without failure: an intent and an outcome. */
+/** Builds the records of a key whose request runs once without failure: intent and outcome. */
 const buildChain = (index: number): readonly ChainRecord[] => {
   const keyFields = {
     format: 1,
