--- a/packages/bench/callers/latencies.ts
+++ b/packages/bench/callers/latencies.ts
@@ -5,7 +5,7 @@
 
 const MICROS_PER_MILLI = 1_000;
 
-/** Figures of one histogram, in milliseconds. */
+/** Number of samples, mean and percentiles of one histogram; durations are in milliseconds. */
 export interface Percentiles {
   readonly count: number;
   readonly mean: Millis;
@@ -14,10 +14,10 @@
   readonly max: Millis;
 }
 
-/** Histogram of durations; updated in place, as a run records hundreds of thousands. */
+/** Histogram of durations; updated in place, as a run records hundreds of thousands of them. */
 export interface LatencyRecorder {
   readonly record: (duration: Millis) => void;
-  /** Adds the samples of another recorder. */
+  /** Adds the samples of another recorder to this one. */
   readonly merge: (other: LatencyRecorder) => void;
   readonly getPercentiles: () => Percentiles;
   readonly getHistogram: () => Histogram;
@@ -34,12 +34,12 @@
     highestTrackableValue: MAX_MEASURED_MS * MICROS_PER_MILLI,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
-  const read = (percentile: number): Millis =>
+  const getPercentile = (percentile: number): Millis =>
     histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
   return {
     record: (duration) => {
-      const bounded = Math.min(MAX_MEASURED_MS, Math.max(0, duration));
-      histogram.recordValue(Math.round(bounded * MICROS_PER_MILLI));
+      const boundedMs = Math.min(MAX_MEASURED_MS, Math.max(0, duration));
+      histogram.recordValue(Math.round(boundedMs * MICROS_PER_MILLI));
     },
     merge: (other) => {
       histogram.add(other.getHistogram());
@@ -47,8 +47,8 @@
     getPercentiles: () => ({
       count: histogram.totalCount,
       mean: histogram.totalCount === 0 ? 0 : histogram.mean / MICROS_PER_MILLI,
-      p50: read(50),
-      p99: read(99),
+      p50: getPercentile(50),
+      p99: getPercentile(99),
       max: histogram.maxValue / MICROS_PER_MILLI,
     }),
     getHistogram: () => histogram,
@@ -59,7 +59,7 @@
  * Merges recorders into a new one.
  *
  * @param recorders - recorders of several runs
- * @returns a recorder with the samples of all
+ * @returns a recorder with the samples of all recorders
  */
 export const mergeRecorders = (recorders: readonly LatencyRecorder[]): LatencyRecorder => {
   const merged = createLatencyRecorder();
--- a/packages/bench/client/eventCounter.ts
+++ b/packages/bench/client/eventCounter.ts
@@ -1,8 +1,8 @@
-/** Counts server-sent events without decoding them, so that the client stays cheap. */
+/** Counts server-sent events without decoding them, which keeps the client's processor time low. */
 export interface EventCounter {
-  /** Counts the events that end in the next bytes of the stream. */
+  /** Counts the events that end within the next bytes of the stream. */
   readonly count: (bytes: Buffer) => number;
-  /** Whether the stream so far ends with the end mark. */
+  /** Reports whether the bytes so far end with the end mark. */
   readonly hasEndMark: () => boolean;
 }
 
@@ -11,32 +11,33 @@
 const END_MARK = 'data: [DONE]\n\n';
 
 /**
- * Creates the counter of one stream. Events must end with two newlines, as all servers of this
- * repository send them.
+ * Creates the counter of one stream. Each event must end with two newlines, as those of all servers
+ * of this repository do.
  *
  * @returns a counter at the start of a stream
  */
 export const createEventCounter = (): EventCounter => {
-  /** Last bytes of the stream; an event end or the end mark may be cut in two. */
+  /** Last bytes of the stream, as the end mark may be split between two reads. */
   let tail: Buffer = Buffer.alloc(0);
-  let last: 'line-end' | 'other' = 'other';
+  /** `line-end` after a newline that does not end an event; the next byte may then end it. */
+  let lastByte: 'line-end' | 'other' = 'other';
   return {
     count: (bytes) => {
       if (bytes.length === 0) return 0;
       let events = 0;
       let from = 0;
-      if (last === 'line-end' && bytes[0] === NEWLINE) {
+      if (lastByte === 'line-end' && bytes[0] === NEWLINE) {
         events = 1;
         from = 1;
       }
       for (;;) {
-        const found = bytes.indexOf(EVENT_END, from);
-        if (found < 0) break;
+        const foundAt = bytes.indexOf(EVENT_END, from);
+        if (foundAt < 0) break;
         events += 1;
-        from = found + EVENT_END.length;
+        from = foundAt + EVENT_END.length;
       }
-      // A newline that ended an event does not begin the end of the next one.
-      last = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
+      // A newline that already ended an event does not count towards the end of the next one.
+      lastByte = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
       tail =
         bytes.length >= END_MARK.length
           ? bytes.subarray(-END_MARK.length)
--- a/packages/bench/client/loopDelay.ts
+++ b/packages/bench/client/loopDelay.ts
@@ -4,7 +4,7 @@
 
 const NANOS_PER_MILLI = 1_000_000;
 
-/** How late the event loop of the client ran, beyond the resolution of the measurement. */
+/** Delay of the client's event loop beyond the resolution of the measurement. */
 export interface LoopDelay {
   readonly p50: Millis;
   readonly p99: Millis;
@@ -12,26 +12,26 @@
 }
 
 /** Measures the delay of this process's event loop. */
-export interface LoopDelayWatch {
-  readonly begin: () => void;
-  readonly end: () => LoopDelay;
+export interface LoopDelayMonitor {
+  readonly start: () => void;
+  readonly stop: () => LoopDelay;
 }
 
 /**
- * Creates the watch of the client's event loop.
+ * Creates a monitor of the event loop of this process.
  *
- * @returns the watch, not running
+ * @returns the monitor, not started
  */
-export const createLoopDelayWatch = (): LoopDelayWatch => {
+export const createLoopDelayMonitor = (): LoopDelayMonitor => {
   const histogram = monitorEventLoopDelay({ resolution: LOOP_DELAY_RESOLUTION_MS });
   const toDelay = (nanos: number): Millis =>
     Math.max(0, nanos / NANOS_PER_MILLI - LOOP_DELAY_RESOLUTION_MS);
   return {
-    begin: () => {
+    start: () => {
       histogram.reset();
       histogram.enable();
     },
-    end: () => {
+    stop: () => {
       histogram.disable();
       return {
         p50: toDelay(histogram.percentile(50)),
--- a/packages/bench/client/streamClient.ts
+++ b/packages/bench/client/streamClient.ts
@@ -4,26 +4,28 @@
 import type { CallerId, CallersEvent, StreamEnd } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Where the callers of a run send their requests. */
+/** Servers and contents of the requests of a run. */
 export interface StreamTarget {
-  /** Callers take the origins in turn. */
+  /** Callers are spread over the origins in turn. */
   readonly origins: readonly string[];
   readonly headers: Readonly<Record<string, string>>;
   readonly buildBody: (caller: CallerId) => string;
 }
 
+/** Client that sends the requests of the callers. */
 export interface StreamClient {
   readonly open: (caller: CallerId) => void;
-  /** Breaks the streams that are still open. */
+  /** Aborts the streams that are still open. */
   readonly close: () => Promise<void>;
 }
 
-const PATH = '/v1/chat/completions';
+const COMPLETIONS_PATH = '/v1/chat/completions';
 
-const KEPT_TEXT = 300;
+const MAX_ERROR_TEXT_LENGTH = 300;
 
 /**
- * Builds the receiver of one answer. It takes the instant first and decodes nothing.
+ * Builds the handler of one answer. It reads the clock before anything else and decodes no event,
+ * so that its own work adds nothing to the measured times.
  */
 const buildHandler = (
   caller: CallerId,
@@ -32,8 +34,8 @@
 ): Dispatcher.DispatchHandler => {
   const counter = createEventCounter();
   let status = 0;
-  let text = '';
-  const end = (result: StreamEnd): void => {
+  let errorText = '';
+  const postEnd = (result: StreamEnd): void => {
     post({ kind: 'stream-ended', caller, end: result });
   };
   return {
@@ -44,19 +46,20 @@
     onResponseData: (_controller, bytes) => {
       const at = now();
       if (status !== 200) {
-        text = `${text}${bytes.toString('utf8')}`.slice(0, KEPT_TEXT);
+        errorText = `${errorText}${bytes.toString('utf8')}`.slice(0, MAX_ERROR_TEXT_LENGTH);
         return;
       }
       const count = counter.count(bytes);
       if (count > 0) post({ kind: 'events-arrived', caller, count, at });
     },
     onResponseEnd: () => {
-      if (status !== 200) end({ kind: 'failed', reason: `status ${status.toString()}: ${text}` });
-      else if (counter.hasEndMark()) end({ kind: 'whole' });
-      else end({ kind: 'failed', reason: 'the stream ended without its end mark' });
+      if (status !== 200)
+        postEnd({ kind: 'failed', reason: `status ${status.toString()}: ${errorText}` });
+      else if (counter.hasEndMark()) postEnd({ kind: 'whole' });
+      else postEnd({ kind: 'failed', reason: 'the stream ended without its end mark' });
     },
     onResponseError: (_controller, error) => {
-      end({ kind: 'failed', reason: error.message });
+      postEnd({ kind: 'failed', reason: error.message });
     },
   };
 };
@@ -64,9 +67,9 @@
 /**
  * Creates the adapter that sends the requests of the callers, each on a connection of its own.
  *
- * @param target - addresses, headers and bodies
+ * @param target - origins, headers and bodies of the requests
  * @param now - clock of the run
- * @param post - receives arrivals and ends
+ * @param post - receives the arrivals and the ends of the streams
  * @returns the adapter
  */
 export const createStreamClient = (
@@ -81,7 +84,7 @@
       agent.dispatch(
         {
           origin: origins[caller % origins.length] ?? '',
-          path: PATH,
+          path: COMPLETIONS_PATH,
           method: 'POST',
           headers: { 'content-type': 'application/json', ...headers },
           body: buildBody(caller),
--- a/packages/bench/pathBench.ts
+++ b/packages/bench/pathBench.ts
@@ -1,15 +1,16 @@
 /**
- * Entry point of `npm run bench:path`: measures the request path over processes on loopback.
+ * Entry point of `npm run bench:path`: measures the request path through daemon processes that
+ * communicate over loopback.
  */
 import { mkdirSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { measureHolds } from './measureHolds.js';
-import type { HoldsReport } from './measureHolds.js';
+import { measureCapacity } from './measureHolds.js';
+import type { CapacityReport } from './measureHolds.js';
 import { measureLatency } from './measureLatency.js';
 import type { LatencyReport } from './measureLatency.js';
 import { measureStartup } from './measureStartup.js';
 import type { StartupReport } from './measureStartup.js';
-import { readIdentity } from './report/machine.js';
+import { readRunMetadata } from './report/machine.js';
 import { printProgress, printResult } from './report/print.js';
 import { renderPathReport } from './report/tables.js';
 import { checkCapacity, checkLatency } from './report/targets.js';
@@ -21,16 +22,16 @@
 
 const DEFAULT_BLOCKS = '2';
 
-const readParts = (text: string): readonly Part[] => {
+const parseParts = (text: string): readonly Part[] => {
   const names = text.split(',');
   const unknown = names.find((name) => !PARTS.some((part) => part === name));
-  if (unknown !== undefined) throw new Error(`no part is called ${unknown}: ${PARTS.join(', ')}`);
+  if (unknown !== undefined) throw new Error(`unknown part ${unknown}; known: ${PARTS.join(', ')}`);
   return PARTS.filter((part) => names.includes(part));
 };
 
-const readBlocks = (text: string): number => {
+const parseBlocks = (text: string): number => {
   const blocks = Number(text);
-  if (!Number.isInteger(blocks) || blocks < 1) throw new Error('--blocks must be 1 or more');
+  if (!Number.isInteger(blocks) || blocks < 1) throw new Error('--blocks must be an integer >= 1');
   return blocks;
 };
 
@@ -38,9 +39,9 @@
   options: {
     json: { type: 'boolean', default: false },
     parts: { type: 'string', default: PARTS.join(',') },
-    /** Blocks of four rounds: direct, path, path, direct. */
+    /** Number of blocks; a block has four rounds: direct, path, path, direct. */
     blocks: { type: 'string', default: DEFAULT_BLOCKS },
-    /** Directory for processor profiles; a profiled run gives no figures to publish. */
+    /** Directory for CPU profiles; figures of a profiled run are not to be published. */
     profile: { type: 'string' },
   },
 });
@@ -57,22 +58,22 @@
 
 const listTargets = (
   latency: LatencyReport | null,
-  capacity: HoldsReport | null,
+  capacity: CapacityReport | null,
 ): readonly TargetReport[] => [
   ...(latency === null ? [] : checkLatency(latency)),
   ...(capacity === null ? [] : checkCapacity(capacity)),
 ];
 
 const runPathBench = async (): Promise<void> => {
-  const parts = readParts(values.parts);
-  const blocks = readBlocks(values.blocks);
+  const parts = parseParts(values.parts);
+  const blocks = parseBlocks(values.blocks);
   const { profile } = values;
   if (profile !== undefined) mkdirSync(profile, { recursive: true });
-  const identity = readIdentity();
+  const identity = readRunMetadata();
   const latency = await measurePart('latency', parts, () =>
     measureLatency(blocks, profile, printProgress),
   );
-  const capacity = await measurePart('capacity', parts, () => measureHolds(profile));
+  const capacity = await measurePart('capacity', parts, () => measureCapacity(profile));
   const startup: StartupReport | null = await measurePart('startup', parts, measureStartup);
   const report: PathReport = {
     bench: 'path',
--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -23,15 +23,18 @@
   latestStartAt: NOW + 30_000,
 });
 
-/** The bounds lie above the number of customers, so that each of them can have a place. */
-const createOpenQueue = (customers: number): QueueState =>
+/** Creates a queue whose bounds exceed the number of customers, so that it sheds no request. */
+const createEmptyQueue = (customers: number): QueueState =>
   createQueueState({
     maxWaiting: customers * 4,
     maxWaitingPerClass: customers * 4,
     retryAfterMs: 1_000,
   });
 
-/** Every customer has one request in the queue, the most that the fair shares can hold. */
+/**
+ * Builds a queue with one waiting request of every customer. Fair shares are tracked for customers
+ * with waiting requests, so this is their largest number.
+ */
 const buildQueue = (customers: number): QueueState => {
   const requests = Array.from({ length: customers }, (_, index) =>
     buildRequest(formatCustomer(index)),
@@ -50,21 +53,21 @@
     ),
   } as const;
   const key = 'standard\u0000model draft';
-  return { ...createOpenQueue(customers), lanes: new Map([[key, lane]]) };
+  return { ...createEmptyQueue(customers), lanes: new Map([[key, lane]]) };
 };
 
 const measureQueue = (customers: number) => {
   const { bytes, state } = measureMemory(() => buildQueue(customers));
   const request = buildRequest(formatCustomer(0));
-  const passThrough = () => {
+  const enqueueAndTake = () => {
     const { requestId } = request;
     const queued = decideQueue(state, { kind: 'enqueue', request }).state;
     decideQueue(queued, { kind: 'take', requestId });
   };
-  return { 'fairness.state': bytes, 'fairness.event-time': measureDuration(passThrough) / 2 };
+  return { 'fairness.state': bytes, 'fairness.event-time': measureDuration(enqueueAndTake) / 2 };
 };
 
-const measureTables = (customers: number) => {
+const measureCustomerTables = (customers: number) => {
   const budgets = measureMemory(() => {
     const table = createBudgetTable();
     for (let index = 0; index < customers; index += 1) {
@@ -84,13 +87,13 @@
     ),
   );
   if (budgets.state.getSize() !== customers || keys.state.findHolder('Bearer x') !== undefined) {
-    throw new Error('a table has other entries than it was given');
+    throw new Error('a table does not hold the entries that were added');
   }
   return { 'fairness.budgets': budgets.bytes, 'fairness.keys': keys.bytes };
 };
 
-/** State that an entry daemon may hold for each customer. */
+/** State that an entry daemon can hold for each customer. */
 export const FAIRNESS_EXPERIMENTS: readonly Experiment[] = [
   { name: 'fair queue', sizes: [1_000, 7_000, 28_000], measure: measureQueue },
-  { name: 'customer tables', sizes: [1_000, 7_000, 28_000], measure: measureTables },
+  { name: 'customer tables', sizes: [1_000, 7_000, 28_000], measure: measureCustomerTables },
 ];
--- a/packages/capacity/runCapacity.ts
+++ b/packages/capacity/runCapacity.ts
@@ -13,13 +13,19 @@
 import { PLACEMENT_EXPERIMENTS } from './measures/placement.js';
 import { STREAM_EXPERIMENTS } from './measures/streams.js';
 import { SURVIVAL_EXPERIMENTS } from './measures/survival.js';
-import type { Experiment, MeasureResult, Point, Sample } from './types.js';
+import type { Experiment, MeasuredValues, MeasureResult, Point } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 
-/** `modules` runs in this process; the other parts start clusters of processes. */
+/**
+ * `modules` measures single modules in this process; `streams` and `rest` start clusters of
+ * processes.
+ */
 export type Part = 'modules' | 'streams' | 'rest';
 
-/** Memory is measured before the calls over loopback, whose late clean-up would count as state. */
+/**
+ * Experiments of the part `modules`. Memory is measured before the calls over loopback, because
+ * their connections are released late and would count as state.
+ */
 const MODULE_EXPERIMENTS: readonly Experiment[] = [
   ...SURVIVAL_EXPERIMENTS,
   ...FAIRNESS_EXPERIMENTS,
@@ -57,21 +63,22 @@
   }
 };
 
-interface SizedSample {
+interface SizedValues {
   readonly size: number;
-  readonly sample: Sample;
+  readonly values: MeasuredValues;
 }
 
 /**
- * Fits a line to each measure of a run.
+ * Fits a line to the values of each measure.
  *
- * @param samples - values by size
- * @returns one result for each measure that has values, in the order of the catalogue
+ * @param measured - measured values of each size
+ * @returns one result for each measure with values, in the order of the catalogue
+ * @throws RangeError when a measure has values of one size only
  */
-export const toResults = (samples: readonly SizedSample[]): readonly MeasureResult[] =>
+export const toResults = (measured: readonly SizedValues[]): readonly MeasureResult[] =>
   MEASURES.flatMap(({ name, size: sizeUnit, value: valueUnit }) => {
-    const points = samples.flatMap(({ size, sample }): readonly Point[] => {
-      const value = sample[name];
+    const points = measured.flatMap(({ size, values }): readonly Point[] => {
+      const value = values[name];
       return value === undefined ? [] : [{ size, value }];
     });
     if (points.length === 0) return [];
@@ -79,20 +86,20 @@
   });
 
 /**
- * Runs experiments one after another.
+ * Runs experiments one after another, each at all its sizes.
  *
- * @param experiments - what to measure
- * @param notify - called before each experiment with its name
- * @returns the fitted measures
+ * @param experiments - experiments in the order in which they run
+ * @param notify - called with the name of each experiment before it runs
+ * @returns one result for each measure, with its fitted line
  */
 export const runExperiments = async (
   experiments: readonly Experiment[],
   notify: (name: string) => void,
 ): Promise<readonly MeasureResult[]> => {
-  const samples: SizedSample[] = [];
+  const measured: SizedValues[] = [];
   for (const { name, sizes, measure } of experiments) {
     notify(name);
-    for (const size of sizes) samples.push({ size, sample: await measure(size) });
+    for (const size of sizes) measured.push({ size, values: await measure(size) });
   }
-  return toResults(samples);
+  return toResults(measured);
 };
--- a/packages/capacity/sampling/duration.ts
+++ b/packages/capacity/sampling/duration.ts
@@ -6,8 +6,9 @@
 };
 
 /**
- * Returns the processor time of this process so far, with its compiler and collector threads.
- * Unlike the clock, it leaves out the time in which other processes had the core.
+ * Returns the processor time of this process so far, including the threads of the compiler and the
+ * garbage collector. Unlike wall-clock time, it excludes the time in which other processes ran on
+ * the core.
  *
  * @returns microseconds
  */
@@ -16,36 +17,36 @@
   return user + system;
 };
 
-const measureRound = (work: () => void, repeats: number): number => {
+const measureRound = (task: () => void, repeats: number): number => {
   const startedAt = getProcessorTime();
-  for (let repeat = 0; repeat < repeats; repeat += 1) work();
+  for (let repeat = 0; repeat < repeats; repeat += 1) task();
   return (getProcessorTime() - startedAt) / repeats;
 };
 
-const runWarmUp = (work: () => void): number => {
+const runWarmUp = (task: () => void): number => {
   const startedAt = performance.now();
   let rounds = 0;
   while (rounds < MIN_ROUNDS || performance.now() - startedAt < WARM_UP_MS) {
-    work();
+    task();
     rounds += 1;
   }
   return (performance.now() - startedAt) / rounds;
 };
 
 /**
- * Measures how much processor time a piece of work takes.
+ * Measures the processor time of a task.
  *
- * @param work - work to repeat; its effects on the state must not make later rounds cheaper
+ * @param task - task to repeat; its effects on the state must not make later rounds cheaper
  * @returns median of the rounds in microseconds
  */
-export const measureDuration = (work: () => void): number => {
-  const repeats = Math.max(1, Math.ceil(MIN_ROUND_MS / runWarmUp(work)));
+export const measureDuration = (task: () => void): number => {
+  const repeats = Math.max(1, Math.ceil(MIN_ROUND_MS / runWarmUp(task)));
   const startedAt = performance.now();
   const rounds: number[] = [];
   while (rounds.length < TIMED_ROUNDS) {
-    rounds.push(measureRound(work, repeats));
-    const isLate = performance.now() - startedAt > MAX_TIMED_MS;
-    if (isLate && rounds.length >= MIN_ROUNDS) break;
+    rounds.push(measureRound(task, repeats));
+    const isOverTime = performance.now() - startedAt > MAX_TIMED_MS;
+    if (isOverTime && rounds.length >= MIN_ROUNDS) break;
   }
   return computeMedian(rounds);
 };
