Rename the symbols of the process tests of whole clusters to terms of the field

The old names were private to the project or did not say what the code holds.

- ReadStream -> StreamResult

--- a/app/demo/steps.ts
+++ b/app/demo/steps.ts
@@ -7,7 +7,7 @@
 import type {
   CallerAnswer,
   CallerTarget,
-  ReadStream,
+  StreamResult,
   StreamEnd,
 } from '../../packages/cluster/callers/types.js';
 import type { Cluster } from '../../packages/cluster/types.js';
@@ -43,7 +43,7 @@
  * Checks that all tokens are there in order. The engine stand-in sends the id of the generation as
  * the first token, then `w1`, `w2` and so on.
  */
-const checkTokens = ({ texts, end }: ReadStream): Result<string, string> => {
+const checkTokens = ({ texts, end }: StreamResult): Result<string, string> => {
   if (end.kind !== 'done') return Err(`the generation ${describeEnd(end)}`);
   const words = texts.join('').trim().split(' ');
   const inOrder = words.slice(1).every((word, index) => word === `w${(index + 1).toString()}`);
--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -6,7 +6,7 @@
   CallerTarget,
   ChatOptions,
   ProblemFields,
-  ReadStream,
+  StreamResult,
   StreamAnswer,
   StreamEnd,
   ServerSentEvent,
@@ -150,7 +150,7 @@
         state.texts.length >= count || state.end !== undefined ? state : undefined,
       ),
     read: () =>
-      watch.wait((state): ReadStream | undefined =>
+      watch.wait((state): StreamResult | undefined =>
         state.end === undefined ? undefined : { ...state, end: state.end },
       ),
     close: () => {
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -39,7 +39,7 @@
 }
 
 /** Content of a stream that was read to its end. */
-export interface ReadStream extends StreamProgress {
+export interface StreamResult extends StreamProgress {
   readonly end: StreamEnd;
   /** Time from sending the request to the first chunk; undefined without a chunk. */
   readonly firstChunkMs: Millis | undefined;
@@ -53,7 +53,7 @@
       /** Resolves when at least `count` chunks have been received or the stream has ended. */
       readonly waitForChunks: (count: number) => Promise<StreamProgress>;
       /** Resolves when the stream has ended. */
-      readonly read: () => Promise<ReadStream>;
+      readonly read: () => Promise<StreamResult>;
       /** Closes the connection before the end of the stream. */
       readonly close: () => void;
     }
--- a/packages/cluster/onceInOrder.promise.test.ts
+++ b/packages/cluster/onceInOrder.promise.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { applyFault } from './callers/standinPages.js';
-import type { ReadStream } from './callers/types.js';
+import type { StreamResult } from './callers/types.js';
 import { startCluster } from './startCluster.js';
 import {
   buildCallerTarget,
@@ -62,7 +62,7 @@
 });
 
 /** Returns null when a stream is complete or ends with an error event, and has the right tokens. */
-const checkExplicitEnd = ({ texts, end }: ReadStream, tokens: number): string | null => {
+const checkExplicitEnd = ({ texts, end }: StreamResult, tokens: number): string | null => {
   if (end.kind === 'cut') return `cut: ${end.reason}`;
   if (end.kind === 'done' && texts.length !== tokens)
     return `ended after ${texts.length.toString()}`;
