--- a/packages/cluster/loadCluster.ts
+++ b/packages/cluster/loadCluster.ts
@@ -160,7 +160,7 @@
     ),
     platformUrl: platform,
     applyFault: (process, fault) => applyFault(cluster, process, fault),
-    operate: (action) => performOperatorAction(cluster, action),
+    performOperatorAction: (action) => performOperatorAction(cluster, action),
     close: cluster.stop,
   };
 };
--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -230,7 +230,7 @@
     ledgerUrls: { l1: ledger },
     platformUrl: 'http://127.0.0.1:9',
     applyFault: () => Promise.reject(new Error('no processes')),
-    operate: () => Promise.resolve(),
+    performOperatorAction: () => Promise.resolve(),
   };
   const close = async (): Promise<void> => {
     await entry.close();
--- a/packages/load/performAction.ts
+++ b/packages/load/performAction.ts
@@ -44,7 +44,7 @@
     case 'process':
       return cluster.applyFault(action.id, action.fault);
     case 'operator':
-      return cluster.operate(action.action);
+      return cluster.performOperatorAction(action.action);
     default:
       return assertNever(action);
   }
--- a/packages/load/types.ts
+++ b/packages/load/types.ts
@@ -24,7 +24,7 @@
   /** Injects a fault into a process of the system. */
   readonly applyFault: (process: string, fault: ProcessFault) => Promise<void>;
   /** Performs an operator's action through the operator interface. */
-  readonly operate: (action: OperatorAction) => Promise<void>;
+  readonly performOperatorAction: (action: OperatorAction) => Promise<void>;
 }
 
 /** How a request ended for its caller. */
