--- a/app/demo/runDemo.ts
+++ b/app/demo/runDemo.ts
@@ -2,7 +2,7 @@
 import { renderShortTimeline } from './shortTimeline.js';
 import { runSteps } from './steps.js';
 import type { StepReport } from './types.js';
-import { fetchLogs } from '../clients/debugPages.js';
+import { fetchLogs } from '../clients/debugClient.js';
 import type { CommandOutcome, OutputFormat } from '../output.js';
 import { waitForShutdown } from '../serving.js';
 import { startCluster } from '../../packages/cluster/startCluster.js';
--- a/app/demo/steps.ts
+++ b/app/demo/steps.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import type { StepReport } from './types.js';
 import { sendCall } from '../../packages/cluster/callers/callClient.js';
-import { countExecutions } from '../../packages/cluster/callers/standinPages.js';
+import { countExecutions } from '../../packages/cluster/callers/standinClient.js';
 import { openStream } from '../../packages/cluster/callers/streamClient.js';
 import type {
   CallerAnswer,
--- a/app/pages.test.ts
+++ b/app/pages.test.ts
@@ -6,8 +6,8 @@
 import type { ReadyLine } from './demo/readyLine.js';
 import { readBlocks } from './pageBlocks.js';
 import type { PageBlock } from './pageBlocks.js';
-import { createPortReplacer, buildDirectory, runBlock } from './pageRuns.js';
-import type { RunContext, ServedProcess } from './pageRuns.js';
+import { createPortReplacer, buildDirectory, runBlock } from './runPageBlocks.js';
+import type { RunContext, ServedProcess } from './runPageBlocks.js';
 import { runServing } from './testing.js';
 
 const createContext = async (
--- a/app/remote.test.ts
+++ b/app/remote.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import fastify from 'fastify';
 import { runProgram } from './testing.js';
-import { buildEvent } from '../packages/timeline/testEvents.js';
+import { buildEvent } from '../packages/timeline/events.fixture.js';
 
 const KEY = { CHESTNUTSPAN_OPERATOR_KEY: 'operator-key' };
 const DIRECTORY = mkdtempSync(join(tmpdir(), 'chestnutspan-cli-'));
--- a/app/timelineOutcomes.ts
+++ b/app/timelineOutcomes.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from 'node:fs';
-import { fetchLogs } from './clients/debugPages.js';
-import type { EventSources } from './clients/debugPages.js';
+import { fetchLogs } from './clients/debugClient.js';
+import type { EventSources } from './clients/debugClient.js';
 import type { CommandOutcome } from './output.js';
 import { explainMove } from '../packages/timeline/explainMove.js';
 import { explainRequest } from '../packages/timeline/explainRequest.js';
--- a/packages/bench/clusters.ts
+++ b/packages/bench/clusters.ts
@@ -1,5 +1,5 @@
 import type { StreamTarget } from './client/streamClient.js';
-import type { MetricsUrls } from './samples/fetchFigures.js';
+import type { MetricsUrls } from './samples/fetchUsage.js';
 import type { Route } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Cluster, ClusterOptions, EngineStandinOptions } from '../cluster/types.js';
--- a/packages/bench/pathBench.ts
+++ b/packages/bench/pathBench.ts
@@ -4,13 +4,13 @@
  */
 import { mkdirSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { measureCapacity } from './measureHolds.js';
-import type { CapacityReport } from './measureHolds.js';
+import { measureCapacity } from './measureCapacity.js';
+import type { CapacityReport } from './measureCapacity.js';
 import { measureLatency } from './measureLatency.js';
 import type { LatencyReport } from './measureLatency.js';
 import { measureStartup } from './measureStartup.js';
 import type { StartupReport } from './measureStartup.js';
-import { readRunMetadata } from './report/machine.js';
+import { readRunMetadata } from './report/runMetadata.js';
 import { printProgress, printResult } from './report/print.js';
 import { renderPathReport } from './report/tables.js';
 import { checkCapacity, checkLatency } from './report/targets.js';
--- a/packages/bench/placement/placementBench.ts
+++ b/packages/bench/placement/placementBench.ts
@@ -6,7 +6,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { buildEndpoint } from './buildEndpoint.js';
 import { MAX_PLACEMENT_MICROS } from '../constants.js';
-import { readRunMetadata } from '../report/machine.js';
+import { readRunMetadata } from '../report/runMetadata.js';
 import { printProgress, printResult } from '../report/print.js';
 import { renderTable } from '../report/tables.js';
 import { writeResult } from '../report/writeResult.js';
@@ -14,8 +14,8 @@
 import type { RandomSource } from '../../core/random.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
-import { createPlacementTable } from '../../decisions/placement/own.js';
-import type { PlacementTable } from '../../decisions/placement/own.js';
+import { createPlacementTable } from '../../decisions/placement/placementTable.js';
+import type { PlacementTable } from '../../decisions/placement/placementTable.js';
 import type {
   EndpointView,
   PlacementPolicy,
--- a/packages/bench/report/tables.ts
+++ b/packages/bench/report/tables.ts
@@ -1,5 +1,5 @@
 import type { PathReport } from './types.js';
-import type { CapacityReport } from '../measureHolds.js';
+import type { CapacityReport } from '../measureCapacity.js';
 import type { LatencyReport } from '../measureLatency.js';
 import type { StartupReport } from '../measureStartup.js';
 
--- a/packages/bench/report/targets.ts
+++ b/packages/bench/report/targets.ts
@@ -5,7 +5,7 @@
   MAX_ADDED_GAP_FRACTION,
   MAX_CONTROL_STATE_BYTES,
 } from '../constants.js';
-import type { CapacityReport } from '../measureHolds.js';
+import type { CapacityReport } from '../measureCapacity.js';
 import type { Comparison, LatencyReport } from '../measureLatency.js';
 
 const BYTES_PER_MB = 1024 * 1024;
--- a/packages/capacity/measures/placement.ts
+++ b/packages/capacity/measures/placement.ts
@@ -5,7 +5,7 @@
 import type { RandomSource } from '../../core/random.js';
 import { choosePlacement } from '../../decisions/placement/choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from '../../decisions/placement/constants.js';
-import { createPlacementTable } from '../../decisions/placement/own.js';
+import { createPlacementTable } from '../../decisions/placement/placementTable.js';
 import type { PlacementRequest } from '../../decisions/placement/types.js';
 import { createSurvivalTable } from '../../decisions/survival/survivalTable.js';
 
--- a/packages/cluster/atMostOnce.promise.test.ts
+++ b/packages/cluster/atMostOnce.promise.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { applyFault, countExecutions } from './callers/standinPages.js';
+import { applyFault, countExecutions } from './callers/standinClient.js';
 import type { CallerAnswer } from './callers/types.js';
 import { startCluster } from './startCluster.js';
 import {
--- a/packages/cluster/generationOnce.promise.test.ts
+++ b/packages/cluster/generationOnce.promise.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { request } from 'undici';
-import { countGenerations } from './callers/standinPages.js';
+import { countGenerations } from './callers/standinClient.js';
 import { openStream } from './callers/streamClient.js';
 import type { ChatOptions, ProblemFields } from './callers/types.js';
 import { startCluster } from './startCluster.js';
--- a/packages/cluster/notRun.promise.test.ts
+++ b/packages/cluster/notRun.promise.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { sendCall } from './callers/callClient.js';
-import { countExecutions } from './callers/standinPages.js';
+import { countExecutions } from './callers/standinClient.js';
 import type { CallerTarget, ServiceCall } from './callers/types.js';
 import { startCluster } from './startCluster.js';
 import { buildCallerTarget, fetchStats, getInspectionUrl } from './testing.js';
--- a/packages/cluster/onceInOrder.promise.test.ts
+++ b/packages/cluster/onceInOrder.promise.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { applyFault } from './callers/standinPages.js';
+import { applyFault } from './callers/standinClient.js';
 import type { StreamResult } from './callers/types.js';
 import { startCluster } from './startCluster.js';
 import {
--- a/packages/cluster/processes/control.ts
+++ b/packages/cluster/processes/control.ts
@@ -9,8 +9,8 @@
   ProcessTable,
   ProcessesEvent,
 } from './types.js';
-import { createInstanceListClient } from '../instances/listClient.js';
-import type { InstanceListClient } from '../instances/listClient.js';
+import { createInstanceListClient } from '../instances/instanceListClient.js';
+import type { InstanceListClient } from '../instances/instanceListClient.js';
 import { checkReadiness } from '../instances/readiness.js';
 import { listClusterChildren } from '../supervisor.js';
 import { createWatch } from '../watch.js';
--- a/packages/decisions/forwarding/crashSuspicion.test.ts
+++ b/packages/decisions/forwarding/crashSuspicion.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { CRASH_RETENTION_MS, MAX_CRASH_RECORDS } from './constants.js';
-import { checkCrashes, createCrashTable, recordCrash } from './crashSuspicion.js';
+import { checkCrashes, createCrashTable, recordCrash } from './crashTable.js';
 
 // Guards against a request that crashes one endpoint after the other.
 test('a request that crashed three endpoints is refused for a while', (t) => {
--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -1,4 +1,4 @@
-import type { Candidate } from './placeForward.js';
+import type { Candidate } from './placeAttempt.js';
 import { NEW_ENDPOINT_HEALTH } from './endpointHealth.js';
 import type {
   EndpointRecord,
--- a/packages/decisions/forwarding/placeForward.test.ts
+++ b/packages/decisions/forwarding/placeAttempt.test.ts
@@ -8,8 +8,8 @@
 } from './forwarding.fixture.js';
 import { computeFailureRate, NEW_ENDPOINT_HEALTH, observeAttempt } from './endpointHealth.js';
 import type { EndpointHealth } from './endpointHealth.js';
-import { placeBackup, placeAttempt, placeTransfer } from './placeForward.js';
-import type { PlacementCriteria } from './placeForward.js';
+import { placeBackup, placeAttempt, placeTransfer } from './placeAttempt.js';
+import type { PlacementCriteria } from './placeAttempt.js';
 import { createRandomSource } from '../../core/random.js';
 
 const random = createRandomSource(5);
--- a/packages/decisions/idempotency/atMostOnce.promise.test.ts
+++ b/packages/decisions/idempotency/atMostOnce.promise.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { buildCommandList, runCommands } from './testing/fuzz.js';
 import type { Mechanisms, Statistics } from './testing/types.js';
-import { createSimulation } from './testing/world.js';
+import { createSimulation } from './testing/simulation.js';
 
 // A longer run: FUZZ_SEED=7 FUZZ_RUNS=100000 npx ava <this file> --timeout=1h
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_261_204);
--- a/packages/decisions/idempotency/nonces.test.ts
+++ b/packages/decisions/idempotency/nonces.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { createNonceTable, decideNonce } from './nonces.js';
-import { createModelId } from './testing/world.js';
+import { createModelId } from './testing/simulation.js';
 import type { NonceEvent } from './types.js';
 
 const SETTINGS = { windowMs: 1_000, answerRetentionMs: 100, maxAnswerBytes: 10, maxEntries: 4 };
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -1,5 +1,5 @@
-import { applyStringPool } from './sharedTexts.js';
-import type { StringPool } from './sharedTexts.js';
+import { applyStringPool } from './stringPool.js';
+import type { StringPool } from './stringPool.js';
 import { createChainState, foldChain, toChainState } from './chain.js';
 import { MIN_EXPIRY_VISITS } from './constants.js';
 import { isKeyExpired } from './keys.js';
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -1,7 +1,7 @@
 import { decideNonce } from '../nonces.js';
 import type { DispatchResult, FenceResult, NoncePlacement } from '../types.js';
 import type { EndpointModel, Fault, Simulation } from './types.js';
-import { addTask, recordExecution } from './world.js';
+import { addTask, recordExecution } from './simulation.js';
 import { createFailure } from '../../../core/verdict.js';
 
 const LOST: DispatchResult = {
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -11,7 +11,14 @@
 } from '../types.js';
 import { sendDispatch, sendFence } from './endpointModel.js';
 import type { EndpointModel, EntryModel, Fault, Reply, Simulation } from './types.js';
-import { addEntryTask, appendToLog, createModelId, LIMITS, MODEL_KEYS, readLog } from './world.js';
+import {
+  addEntryTask,
+  appendToLog,
+  createModelId,
+  LIMITS,
+  MODEL_KEYS,
+  readLog,
+} from './simulation.js';
 import { assertNever } from '../../../core/assertNever.js';
 
 const REQUEST_TIMEOUT_MS = 8_000;
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -17,7 +17,7 @@
   restartEndpoint,
   restartEntry,
   pruneLog,
-} from './world.js';
+} from './simulation.js';
 import { assertNever } from '../../../core/assertNever.js';
 
 const entry = fc.nat({ max: 2 });
--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { choosePlacement } from './choosePlacement.js';
 import { DEFAULT_PLACEMENT_POLICY } from './constants.js';
-import { createPlacementTable } from './own.js';
+import { createPlacementTable } from './placementTable.js';
 import type {
   EndpointPhase,
   EndpointView,
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -17,8 +17,8 @@
 import { createSurvivalTable } from '../../survival/survivalTable.js';
 import type { SurvivalTable } from '../../survival/survivalTable.js';
 import { choosePlacement } from '../choosePlacement.js';
-import { createPlacementTable } from '../own.js';
-import type { PlacementTable } from '../own.js';
+import { createPlacementTable } from '../placementTable.js';
+import type { PlacementTable } from '../placementTable.js';
 import type { EndpointView, PlacementPolicy } from '../types.js';
 
 export const STEP_MS = 20;
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { resolveRefusal } from './attempts.js';
+import { resolveRefusal } from './refusal.js';
 import { decideRetry, initRetryBudget } from './retry.js';
 import type { RetryBudget } from './types.js';
 import { createRandomSource } from '../../core/random.js';
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -1,7 +1,7 @@
 import { ENGINE_POLL_MS } from './constants.js';
 import { addOutcome } from './evidence.js';
 import type { SlowThresholds } from './evidence.js';
-import { applyCacheEvents, createCachedPrefixes } from './prefixSketch.js';
+import { applyCacheEvents, createCachedPrefixes } from './cachedPrefixes.js';
 import type { EngineState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -10,7 +10,7 @@
   toAttemptOutcome,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlacement } from './placing.js';
+import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
 import type { CallState, ClassPolicy, KeyedState, RequestPlacement } from './types.js';
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -9,10 +9,10 @@
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestsInputs } from './inputs.js';
-import { buildResumeEffects, buildStartEffect } from './openLink.js';
+import { buildResumeEffects, buildStartEffect } from './linkEffects.js';
 import { measureChunks, toDeliveryEvent } from './links.js';
 import type { LinkCompletion } from './links.js';
-import { selectPlacement } from './placing.js';
+import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
 import type { ClassPolicy, GenerationState, RequestPlacement } from './types.js';
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -5,7 +5,7 @@
 import type { ClassName, CustomerId, ModelName, RequestId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { ChainState, KeyCounts, TableStanding } from '../../decisions/idempotency/types.js';
-import type { PlacementTable } from '../../decisions/placement/own.js';
+import type { PlacementTable } from '../../decisions/placement/placementTable.js';
 import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
 import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
 import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
--- a/packages/entry/requests/keyed.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -19,7 +19,7 @@
   reportCrash,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
-import { selectPlacement } from './placing.js';
+import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import type { ClassPolicy, KeyedState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { DEFAULT_CLASS } from './classes.js';
 import type { RequestsInputs } from './inputs.js';
-import { createKeyed } from './keyed.js';
+import { createKeyed } from './keyedRequest.js';
 import { applyKeyedDelivery, applyKeyedLink, startKeyedStream } from './keyedStream.js';
 import type { LinkCompletion } from './links.js';
 import type { KeyedState, RequestPlacement } from './types.js';
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -5,7 +5,7 @@
 import type { Step } from '../../core/step.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
 import type { AttemptOutcome } from '../../decisions/quarantine/types.js';
-import { resolveRefusal } from '../../decisions/retries/attempts.js';
+import { resolveRefusal } from '../../decisions/retries/refusal.js';
 import type { EntryEffect } from '../events.js';
 
 /** Step of one request; its state is null when the request has ended. */
--- a/packages/entry/requests/requestTable.ts
+++ b/packages/entry/requests/requestTable.ts
@@ -1,7 +1,7 @@
 import { placeCall } from './call.js';
 import { placeGeneration } from './generation.js';
 import type { RequestsInputs } from './inputs.js';
-import { applyIntent, placeKeyed } from './keyed.js';
+import { applyIntent, placeKeyed } from './keyedRequest.js';
 import { failRequest } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import type { RequestState, RequestsState } from './types.js';
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -17,7 +17,7 @@
   applyKeyedLinkCompletion,
   applyKeyedStreamEvent,
   createKeyed,
-} from './keyed.js';
+} from './keyedRequest.js';
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import {
--- a/packages/entry/requests/waitingQueue.ts
+++ b/packages/entry/requests/waitingQueue.ts
@@ -1,6 +1,6 @@
 import { MAX_TRIES_PER_EVENT } from './constants.js';
 import type { RequestsInputs } from './inputs.js';
-import { getPromptTokens } from './placing.js';
+import { getPromptTokens } from './placement.js';
 import type { RequestState } from './types.js';
 import type { RequestId } from '../../core/ids.js';
 import { createQueueState, decideQueue, listHeads } from '../../decisions/fairness/decideQueue.js';
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -51,7 +51,7 @@
 import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { countKeys, findChain } from '../decisions/idempotency/table.js';
 import { getNewVersionShare } from '../decisions/moves/move.js';
-import { createPlacementTable } from '../decisions/placement/own.js';
+import { createPlacementTable } from '../decisions/placement/placementTable.js';
 import { createBudgetTable } from '../decisions/retries/budgetTable.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import { createListClient } from '../platform/client/listClient.js';
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -1,6 +1,6 @@
 import type { MembershipState } from './membership.js';
 import type { Millis } from '../../core/clock.js';
-import type { Candidate } from '../../decisions/forwarding/placeForward.js';
+import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import { sumPeerLoad } from '../peers/peers.js';
 import type { PeersState } from '../peers/peers.js';
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -1,7 +1,7 @@
 import { MAX_REPORTED_CRASHES } from './constants.js';
 import type { Clock, Millis } from '../../core/clock.js';
-import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
-import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
+import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashTable.js';
+import type { CrashTable } from '../../decisions/forwarding/crashTable.js';
 
 interface OwnCrash {
   readonly fingerprint: string;
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -19,7 +19,7 @@
 import type { RandomSource } from '../../core/random.js';
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
-import type { EndpointLoad } from '../../decisions/forwarding/placeForward.js';
+import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { GatewayEffect, PeersEvent } from '../events.js';
 import { addLoads, NO_LOAD } from '../requests/load.js';
 
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -19,8 +19,8 @@
   placeBackup,
   placeAttempt,
   placeTransfer,
-} from '../../decisions/forwarding/placeForward.js';
-import type { Candidate, PlacementCriteria } from '../../decisions/forwarding/placeForward.js';
+} from '../../decisions/forwarding/placeAttempt.js';
+import type { Candidate, PlacementCriteria } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyReference } from '../types.js';
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -3,8 +3,8 @@
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import { OUTPUT_TOKEN_WEIGHT } from '../../decisions/forwarding/constants.js';
-import { estimateOutput, estimatePeakTokens } from '../../decisions/forwarding/placeForward.js';
-import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeForward.js';
+import { estimateOutput, estimatePeakTokens } from '../../decisions/forwarding/placeAttempt.js';
+import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { Service } from '../../decisions/forwarding/types.js';
 
 export const NO_LOAD: EndpointLoad = { requests: 0, tokens: 0, waitingTokens: 0 };
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -2,7 +2,7 @@
 import type { DrainTimes, RequestsInputs } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
-import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
+import { createCrashTable, recordCrash } from '../../decisions/forwarding/crashTable.js';
 import {
   buildCandidate,
   buildEndpoint,
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -8,7 +8,7 @@
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
-import { recordCrash } from '../../decisions/forwarding/crashSuspicion.js';
+import { recordCrash } from '../../decisions/forwarding/crashTable.js';
 import type { AttemptFailure, AttemptOrder, GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -3,9 +3,9 @@
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
-import type { CrashTable } from '../../decisions/forwarding/crashSuspicion.js';
+import type { CrashTable } from '../../decisions/forwarding/crashTable.js';
 import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
-import type { Candidate } from '../../decisions/forwarding/placeForward.js';
+import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
 import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
 import type {
--- a/packages/load/arrivals/buildArrivals.ts
+++ b/packages/load/arrivals/buildArrivals.ts
@@ -1,4 +1,4 @@
-import { sampleLength } from './lengths.js';
+import { sampleLength } from './sampleLength.js';
 import type { Arrival, Work } from './types.js';
 import type { LoadClass, LoadCustomer, LoadPhase, Scenario } from '../scenario/types.js';
 import { createSeededSource } from '../../standins/common/seededSource.js';
--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -7,7 +7,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { request } from 'undici';
 import { buildArrivals } from './arrivals/buildArrivals.js';
-import { sampleLength } from './arrivals/lengths.js';
+import { sampleLength } from './arrivals/sampleLength.js';
 import { EMPTY_ANSWER, checkLength, checkText } from './requests/answerCheck.js';
 import { checkExecutions, checkRefusedGeneration } from './requests/executionCheck.js';
 import type { RequestRecord } from './requests/types.js';
--- a/packages/load/requests/requestsChild.ts
+++ b/packages/load/requests/requestsChild.ts
@@ -2,7 +2,7 @@
 import { EMPTY_ANSWER, checkLength, checkText } from './answerCheck.js';
 import { createMeasures } from './measures.js';
 import type { RequestRecord, RequestsState, Violation } from './types.js';
-import { formatRequestId } from '../client/identity.js';
+import { formatRequestId } from '../client/requestId.js';
 import type { LoadClass, Scenario } from '../scenario/types.js';
 import type { LoadEffect, Outcome, RequestsEvent } from '../types.js';
 import { assertNever } from '../../core/assertNever.js';
--- a/packages/load/samples/verifyExecutions.ts
+++ b/packages/load/samples/verifyExecutions.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from 'undici';
 import { fetchGenerationCounts, fetchExecutionCount } from './fetchPages.js';
-import { formatRequestId } from '../client/identity.js';
+import { formatRequestId } from '../client/requestId.js';
 import { INSPECTION_CONCURRENCY } from '../constants.js';
 import { checkExecutions, checkRefusedGeneration } from '../requests/executionCheck.js';
 import type { RequestRecord, Violation } from '../requests/types.js';
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import fastify from 'fastify';
-import { parseRetryAfter } from './exchange.js';
+import { parseRetryAfter } from './httpClient.js';
 import { createListClient } from './listClient.js';
 import { createLogClient } from './logClient.js';
 import { createWeightClient } from './weightClient.js';
--- a/packages/platform/client/listClient.ts
+++ b/packages/platform/client/listClient.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import { decodeJson, resolveBody } from './answers.js';
-import { createHttpClient } from './exchange.js';
+import { decodeJson, resolveBody } from './responses.js';
+import { createHttpClient } from './httpClient.js';
 import type { ClientOptions, Instance, ListClient } from './types.js';
 
 const SERVICE = { name: 'the instance list', code: 'no-endpoint' } as const;
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -1,9 +1,9 @@
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
-import { decodeJson, resolveBody } from './answers.js';
+import { decodeJson, resolveBody } from './responses.js';
 import { DEFAULT_READ_LIMIT } from './constants.js';
-import { createHttpClient } from './exchange.js';
-import type { HttpResponse, RequestError } from './exchange.js';
+import { createHttpClient } from './httpClient.js';
+import type { HttpResponse, RequestError } from './httpClient.js';
 import type { ClientOptions, LogClient, LogPage, ReadOptions } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { AppendResult } from '../../decisions/idempotency/types.js';
--- a/packages/platform/client/answers.ts
+++ b/packages/platform/client/responses.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { z } from 'zod';
-import type { HttpResponse, RequestError } from './exchange.js';
+import type { HttpResponse, RequestError } from './httpClient.js';
 import { parseJsonBytes } from '../../core/jsonText.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
--- a/packages/platform/client/weightClient.ts
+++ b/packages/platform/client/weightClient.ts
@@ -1,5 +1,5 @@
-import { resolveBody } from './answers.js';
-import { createHttpClient } from './exchange.js';
+import { resolveBody } from './responses.js';
+import { createHttpClient } from './httpClient.js';
 import type { ClientOptions, WeightClient } from './types.js';
 
 const SERVICE = { name: 'the weight store', code: 'unknown-model' } as const;
--- a/packages/standins/common/routedDaemon.ts
+++ b/packages/standins/common/routedDaemon.ts
@@ -1,5 +1,5 @@
-import type { PendingRequests } from './exchange.js';
-import type { Answer, ReplyId } from './exchange.js';
+import type { PendingRequests } from './pendingRequests.js';
+import type { Answer, ReplyId } from './pendingRequests.js';
 import type { Listener } from './listener.js';
 import type { Standin } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
--- a/packages/standins/engine/types.ts
+++ b/packages/standins/engine/types.ts
@@ -1,6 +1,6 @@
 import type { EngineFault } from './faults.js';
 import type { CommonEffect } from '../common/routedDaemon.js';
-import type { ReplyId } from '../common/exchange.js';
+import type { ReplyId } from '../common/pendingRequests.js';
 import type { Millis } from '../../core/clock.js';
 
 /** Status that the engine reports on `/health`. */
--- a/packages/standins/ledger/book/bookChild.ts
+++ b/packages/standins/ledger/service/serviceChild.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { Executions } from './executions.js';
-import type { Answer, ReplyId } from '../../common/exchange.js';
+import type { Answer, ReplyId } from '../../common/pendingRequests.js';
 import type { CallFault, LedgerCall, LedgerEffect, LedgerEvent, LedgerFault } from '../types.js';
 import { assertNever } from '../../../core/assertNever.js';
 import type { Millis } from '../../../core/clock.js';
--- a/packages/standins/ledger/startLedgerStandin.ts
+++ b/packages/standins/ledger/startLedgerStandin.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
-import type { ServiceState } from './book/bookChild.js';
-import { createExecutions } from './book/executions.js';
-import type { Executions } from './book/executions.js';
+import type { ServiceState } from './service/serviceChild.js';
+import { createExecutions } from './service/executions.js';
+import type { Executions } from './service/executions.js';
 import { EXECUTIONS_SCHEMA, EXECUTION_SCHEMA, LEDGER_FAULT_SCHEMA } from './schemas.js';
 import { listLedgerChildren } from './supervisor.js';
 import type {
@@ -13,8 +13,8 @@
   LedgerStandin,
 } from './types.js';
 import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
-import { createPendingRequests } from '../common/exchange.js';
-import type { PendingRequests } from '../common/exchange.js';
+import { createPendingRequests } from '../common/pendingRequests.js';
+import type { PendingRequests } from '../common/pendingRequests.js';
 import { createListener } from '../common/listener.js';
 import { createView } from '../common/view.js';
 import { createSystemClock } from '../../core/clock.js';
--- a/packages/standins/ledger/supervisor.ts
+++ b/packages/standins/ledger/supervisor.ts
@@ -1,5 +1,5 @@
-import { createServiceChild } from './book/bookChild.js';
-import type { ServiceEnvironment, ServiceState } from './book/bookChild.js';
+import { createServiceChild } from './service/serviceChild.js';
+import type { ServiceEnvironment, ServiceState } from './service/serviceChild.js';
 import type { LedgerEffect, LedgerEvent } from './types.js';
 import { buildRoutedChild } from '../../core/supervision/routedChild.js';
 import type { ChildSpec } from '../../core/supervision/types.js';
--- a/packages/standins/ledger/types.ts
+++ b/packages/standins/ledger/types.ts
@@ -1,5 +1,5 @@
 import type { CommonEffect } from '../common/routedDaemon.js';
-import type { Answer, ReplyId } from '../common/exchange.js';
+import type { Answer, ReplyId } from '../common/pendingRequests.js';
 import type { Standin } from '../common/types.js';
 import type { Millis } from '../../core/clock.js';
 
--- a/packages/standins/platform/instances/instancesChild.ts
+++ b/packages/standins/platform/instances/instancesChild.ts
@@ -1,4 +1,4 @@
-import type { ReplyId } from '../../common/exchange.js';
+import type { ReplyId } from '../../common/pendingRequests.js';
 import { LIST_HISTORY_MS } from '../constants.js';
 import type {
   FaultsEvent,
--- a/packages/standins/platform/log/logChild.ts
+++ b/packages/standins/platform/log/logChild.ts
@@ -2,7 +2,7 @@
 import type { RecordTable } from './recordTable.js';
 import { takeFromBucket } from '../../common/rateLimit.js';
 import type { TokenBucket } from '../../common/rateLimit.js';
-import type { ReplyId } from '../../common/exchange.js';
+import type { ReplyId } from '../../common/pendingRequests.js';
 import { APPEND_BURST_SECONDS } from '../constants.js';
 import type {
   FaultsEvent,
--- a/packages/standins/platform/startPlatformStandin.ts
+++ b/packages/standins/platform/startPlatformStandin.ts
@@ -4,8 +4,8 @@
 import { listPlatformChildren } from './supervisor.js';
 import type { PlatformEffect, PlatformEvent, PlatformOptions } from './types.js';
 import { createRoutedDaemon, performCommonEffect, startStandin } from '../common/routedDaemon.js';
-import { createPendingRequests } from '../common/exchange.js';
-import type { PendingRequests } from '../common/exchange.js';
+import { createPendingRequests } from '../common/pendingRequests.js';
+import type { PendingRequests } from '../common/pendingRequests.js';
 import { createListener } from '../common/listener.js';
 import type { Standin } from '../common/types.js';
 import { createSystemClock } from '../../core/clock.js';
--- a/packages/standins/platform/types.ts
+++ b/packages/standins/platform/types.ts
@@ -1,5 +1,5 @@
 import type { CommonEffect } from '../common/routedDaemon.js';
-import type { ReplyId } from '../common/exchange.js';
+import type { ReplyId } from '../common/pendingRequests.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 
--- a/packages/timeline/explain.test.ts
+++ b/packages/timeline/explain.test.ts
@@ -3,7 +3,7 @@
 import { explainRequest } from './explainRequest.js';
 import { mergeTimelines } from './merge.js';
 import { renderExplanationText, renderMoveText } from './renderExplanation.js';
-import { buildEvent, buildLog } from './testEvents.js';
+import { buildEvent, buildLog } from './events.fixture.js';
 import type { EventDetails, LoggedEvent } from '../core/events/types.js';
 
 type Line = readonly [name: LoggedEvent['name'], details: EventDetails];
--- a/packages/timeline/merge.test.ts
+++ b/packages/timeline/merge.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { mergeTimelines, selectEvents } from './merge.js';
-import { buildEvent, buildLog } from './testEvents.js';
+import { buildEvent, buildLog } from './events.fixture.js';
 import type { MergedEvent, ProcessLog } from './types.js';
 import type { EventDetails, LoggedEvent } from '../core/events/types.js';
 
--- a/packages/timeline/render.test.ts
+++ b/packages/timeline/render.test.ts
@@ -3,7 +3,7 @@
 import { PAGE_SCRIPT } from './htmlParts.js';
 import { mergeTimelines } from './merge.js';
 import { renderTimeline } from './renderTimeline.js';
-import { buildEvent, buildLog } from './testEvents.js';
+import { buildEvent, buildLog } from './events.fixture.js';
 
 const HOSTILE_TEXT = `</script><script>alert(1)</script>"'&\u0000`;
 
