Reword the idempotency decisions and the simulations

Failure messages said that a key was issued before 'the kept window', that a daemon 'started again' or that an endpoint 'is gone'; they now name the key window, the restart and the ended incarnation. A mechanism of a simulation was 'kept' and is now 'enabled'; a check that finds no violation has 'passed'. The oracle says 'reported as not-run' instead of 'told not-run', and the tests match the new text as strictly. Commands 'carry' and 'trim' are named after carry-forward and pruning.

--- a/packages/decisions/fuzz/runSuites.test.ts
+++ b/packages/decisions/fuzz/runSuites.test.ts
@@ -17,11 +17,11 @@
 
 /** Builds a suite that uses its whole slice of the virtual time and finds no violation. */
 const buildPassingSuite = (clock: { now: number }, checks: CheckParameters[]): FuzzSuite => ({
-  name: 'kept',
+  name: 'passing',
   check: (parameters) => {
     checks.push(parameters);
     clock.now += parameters.interruptAfterTimeLimit ?? 0;
-    return { kind: 'kept', runs: 10 };
+    return { kind: 'passed', runs: 10 };
   },
 });
 
@@ -46,14 +46,14 @@
     checks.map(({ seed }) => seed),
     [42, 43, 44],
   );
-  t.is(runs.get('kept'), 30);
+  t.is(runs.get('passing'), 30);
 });
 
 // Guards against a replay that reports a violation although the property holds.
 test('the replay of a path without a violation reports none', (t) => {
-  const kept = buildSuite(
-    'kept',
+  const passing = buildSuite(
+    'passing',
     fc.property(fc.nat(), (value) => value >= 0),
   );
-  t.deepEqual(replayPath(kept, 1, '0', () => undefined).violations, []);
+  t.deepEqual(replayPath(passing, 1, '0', () => undefined).violations, []);
 });
--- a/packages/decisions/fuzz/runSuites.ts
+++ b/packages/decisions/fuzz/runSuites.ts
@@ -59,7 +59,7 @@
       if (limit <= 0) break;
       const result = suite.check({ seed, numRuns: MAX_RUNS, interruptAfterTimeLimit: limit });
       runs.set(suite.name, (runs.get(suite.name) ?? 0) + result.runs);
-      if (result.kind === 'kept') continue;
+      if (result.kind === 'passed') continue;
       const { path, counterexample, error } = findSmallerCounterexample(suite, result);
       const violation = { suite: suite.name, seed, path, counterexample, error };
       violations.push(violation);
@@ -88,7 +88,7 @@
   print(`seed ${seed.toString()}`);
   const result = suite.check({ seed, path, numRuns: 1 });
   const runs = new Map([[suite.name, result.runs]]);
-  if (result.kind === 'kept') return { runs, violations: [] };
+  if (result.kind === 'passed') return { runs, violations: [] };
   const { counterexample, error } = result;
   const violation = { suite: suite.name, seed, path: result.path, counterexample, error };
   printViolation(violation, print);
--- a/packages/decisions/fuzz/suites.fixture.ts
+++ b/packages/decisions/fuzz/suites.fixture.ts
@@ -21,9 +21,9 @@
 import { buildAnswersProperty, buildTokensProperty } from '../streams/streamProperties.fixture.js';
 
 const ALL_IDEMPOTENCY_MECHANISMS: Mechanisms = {
-  fence: 'kept',
-  readBack: 'kept',
-  carryForward: 'kept',
+  fence: 'enabled',
+  readBack: 'enabled',
+  carryForward: 'enabled',
 };
 
 const buildAtMostOnceProperty = (profile: 'faults' | 'retention') =>
@@ -36,7 +36,7 @@
   const { failed, numRuns, seed, counterexample, counterexamplePath, errorInstance } = details;
   // fast-check also marks a check as failed that is interrupted before its first successful run;
   // without a counterexample no run violated the property.
-  if (!failed || counterexamplePath === null) return { kind: 'kept', runs: numRuns };
+  if (!failed || counterexamplePath === null) return { kind: 'passed', runs: numRuns };
   return {
     kind: 'violated',
     runs: numRuns,
--- a/packages/decisions/fuzz/types.ts
+++ b/packages/decisions/fuzz/types.ts
@@ -16,9 +16,9 @@
   readonly check: (parameters: CheckParameters) => CheckResult;
 }
 
-/** Result of one check; `kept` means that no run violated the property. */
+/** Result of one check; `passed` means that no run violated the property. */
 export type CheckResult =
-  | { readonly kind: 'kept'; readonly runs: number }
+  | { readonly kind: 'passed'; readonly runs: number }
   | {
       readonly kind: 'violated';
       readonly runs: number;
--- a/packages/decisions/idempotency/atMostOnce.promise.test.ts
+++ b/packages/decisions/idempotency/atMostOnce.promise.test.ts
@@ -8,7 +8,11 @@
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_261_204);
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 1_500);
 
-const ALL_MECHANISMS: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
+const ALL_MECHANISMS: Mechanisms = {
+  fence: 'enabled',
+  readBack: 'enabled',
+  carryForward: 'enabled',
+};
 
 const addStatistics = (sum: Statistics, next: Statistics): void => {
   for (const name of Object.keys(sum) as (keyof Statistics)[]) sum[name] += next[name];
--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -70,7 +70,7 @@
       return resumeChain(state, view);
     case 'own-unknown':
     case 'take-over': {
-      const message = 'the endpoint that could have run the request is gone';
+      const message = 'the endpoint incarnation that could have run the request has ended';
       const failure = createUnresolvedFailure(
         state.purpose,
         'endpoint-lost',
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -47,7 +47,8 @@
 };
 
 const failUnsettled = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
-  const message = 'the log did not show the intent in time, so the request was not started';
+  const message =
+    'the intent was not read back from the log in time, so the request was not started';
   const failure = createFailure('not-run', 'log-unavailable', message);
   return cancelIntent(state, view, { kind: 'fail', failure });
 };
@@ -55,20 +56,30 @@
 /** Checks whether this request's intent was read back as active, is void, or is still missing. */
 const settleIntent = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
   if (view.standing !== 'exact') return toStep(state);
-  const { place, previous, append } = state;
+  const { place: noncePlacement, previous, append } = state;
   const link = view.chain?.link ?? null;
-  if (link?.nonce === place.nonce) {
+  if (link?.nonce === noncePlacement.nonce) {
     if (link.standing.kind !== 'open') return resolveChain(state, view);
     if (view.now >= state.request.deadlineAt) return failUnsettled(state, view);
-    return toStep({ ...state, kind: 'dispatched', place }, { kind: 'dispatch', ...place });
+    return toStep(
+      { ...state, kind: 'dispatched', place: noncePlacement },
+      { kind: 'dispatch', ...noncePlacement },
+    );
   }
   // Another intent became active, and a chain never returns to an earlier nonce. The intent of this
   // request is therefore void, even when its append succeeds later.
   if ((link?.nonce ?? null) !== previous) {
-    return resolveChain({ ...state, unstartable: [...state.unstartable, place.nonce] }, view);
+    return resolveChain(
+      { ...state, unstartable: [...state.unstartable, noncePlacement.nonce] },
+      view,
+    );
   }
   if (append.kind === 'appended' && view.nextOffset > append.offset) {
-    const failure = createFailure('not-run', 'key-expired', 'the log did not accept the key');
+    const failure = createFailure(
+      'not-run',
+      'key-expired',
+      'the key expired before its intent was read back from the log',
+    );
     return failNotRun(state, failure, view);
   }
   return toStep(state);
@@ -138,8 +149,8 @@
     case 'answered': {
       const { status, bodyDigest } = result.answer;
       const { answer } = result;
-      const { place } = state;
-      const effect: IntentEffect = { kind: 'answer', answer, source: 'own', place };
+      const { place: noncePlacement } = state;
+      const effect: IntentEffect = { kind: 'answer', answer, source: 'own', place: noncePlacement };
       const outcome = { verdict: 'ran', status, bodyDigest } as const;
       return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
     }
@@ -185,8 +196,8 @@
   return state.kind === 'waiting' ? resolveChain(state, view) : toStep(state);
 };
 
-/** Cancels the request before its dispatch; after the dispatch, the answer is still recorded. */
-const handleCallerGone = (state: IntentState, view: IntentView): IntentStep => {
+/** Cancels a request that was not dispatched; after a dispatch the outcome is still recorded. */
+const handleDisconnect = (state: IntentState, view: IntentView): IntentStep => {
   switch (state.kind) {
     case 'settling':
       return cancelIntent(state, view);
@@ -241,7 +252,7 @@
       return own ? decideFenceAnswer(state, event.result, view) : toStep(state);
     }
     case 'caller-gone':
-      return handleCallerGone(state, view);
+      return handleDisconnect(state, view);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -176,27 +176,30 @@
  * Requests an endpoint daemon to fence a nonce, or to report its progress when it was started.
  *
  * @param state - state of the request
- * @param place - the nonce and the endpoint incarnation that could start it
+ * @param noncePlacement - the nonce and the endpoint incarnation that could start it
  * @param purpose - why the nonce is fenced; it determines the handling of the reply
  * @returns the fencing state
  */
 export const fenceAtEndpoint = (
   state: IntentState,
-  place: NoncePlacement,
+  noncePlacement: NoncePlacement,
   purpose: FencePurpose,
 ): IntentStep =>
   toStep(
-    { ...toBase(state), kind: 'fencing', round: state.round + 1, place, purpose },
-    { kind: 'fence', ...place },
+    { ...toBase(state), kind: 'fencing', round: state.round + 1, place: noncePlacement, purpose },
+    { kind: 'fence', ...noncePlacement },
   );
 
-const toPlace = ({ nonce, endpoint, incarnation }: ChainLink): NoncePlacement => ({
+const toNoncePlacement = ({ nonce, endpoint, incarnation }: ChainLink): NoncePlacement => ({
   nonce,
   endpoint,
   incarnation,
 });
 
-/** Waits until the intent of another request is `takeOverAfterMs` old, then fences it. */
+/**
+ * Waits until the intent of another request is `takeOverAfterMs` old, then fences its nonce to take
+ * over the key.
+ */
 const waitForOtherIntent = (state: IntentState, link: ChainLink, view: IntentView): IntentStep => {
   if (view.log === 'out') {
     // A fence would stop the other request, and this one could not append an intent after it.
@@ -207,10 +210,10 @@
   const { takeOverAfterMs } = view.limits;
   if (state.kind === 'waiting' && state.nonce === link.nonce) {
     if (view.now < state.until) return toStep(state);
-    return fenceAtEndpoint(state, toPlace(link), 'take-over');
+    return fenceAtEndpoint(state, toNoncePlacement(link), 'take-over');
   }
   const delayMs = Math.min(takeOverAfterMs, link.at + takeOverAfterMs - view.now);
-  if (delayMs <= 0) return fenceAtEndpoint(state, toPlace(link), 'take-over');
+  if (delayMs <= 0) return fenceAtEndpoint(state, toNoncePlacement(link), 'take-over');
   const until = view.now + delayMs;
   return schedule({ ...toBase(state), kind: 'waiting', nonce: link.nonce, until }, 'wait', delayMs);
 };
@@ -248,9 +251,9 @@
 const decideClosed = (state: IntentState, link: ChainLink, outcome: Outcome): IntentStep => {
   switch (outcome.verdict) {
     case 'ran':
-      return fenceAtEndpoint(state, toPlace(link), 'replay');
+      return fenceAtEndpoint(state, toNoncePlacement(link), 'replay');
     case 'may-have-run': {
-      const message = 'whether the request ran cannot be known any more';
+      const message = 'whether the request ran can no longer be determined';
       const failure = createFailure('may-have-run', 'key-unresolved', message);
       return closeRequest(state, { kind: 'fail', failure });
     }
--- a/packages/decisions/idempotency/keys.ts
+++ b/packages/decisions/idempotency/keys.ts
@@ -55,7 +55,7 @@
     return refuse('key-expired', 'the time of issue of the key lies in the future');
   }
   if (issuedAt < now - settings.keyWindowMs) {
-    return refuse('key-expired', 'the key was issued before the kept window');
+    return refuse('key-expired', 'the key was issued before the key window');
   }
   return Ok('accepted');
 };
@@ -105,10 +105,10 @@
   }
   if (chain !== undefined) return checkKeyBinding(request, chain);
   if (request.issuedAt === null && keyCounts.untimed >= settings.maxUntimedKeys) {
-    return refuse('overloaded', 'too many keys without a time of issue are kept');
+    return refuse('overloaded', 'too many keys without a time of issue are stored');
   }
   if (request.issuedAt !== null && keyCounts.timed >= settings.maxTimedKeys) {
-    return refuse('overloaded', 'too many keys are kept');
+    return refuse('overloaded', 'too many keys are stored');
   }
   return Ok('accepted');
 };
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -76,10 +76,12 @@
 ): NonceDecision => {
   const createdAt = readIdTime(event.nonce);
   if (createdAt === null) {
-    return refuse(createFailure('not-run', 'bad-request', 'the nonce is no UUIDv7'));
+    return refuse(createFailure('not-run', 'bad-request', 'the nonce is not a UUIDv7'));
   }
   if (event.incarnation !== table.incarnation) {
-    return refuse(createFailure('not-run', 'stale-incarnation', 'the daemon started again'));
+    return refuse(
+      createFailure('not-run', 'stale-incarnation', 'the endpoint daemon has restarted'),
+    );
   }
   const known = table.entries.get(event.nonce);
   if (known !== undefined) return refuseKnown(known);
--- a/packages/decisions/idempotency/table.test.ts
+++ b/packages/decisions/idempotency/table.test.ts
@@ -9,8 +9,8 @@
 const OF_KEY = { format: 1, customer: 'c', key: 'k', issuedAt: 0, at: 0 } as const;
 
 const buildIntent = (nonce: Nonce, previous: Nonce | null): IntentStreamRecord => {
-  const place = { endpoint: 'e', incarnation: 'i', entry: 'd' };
-  return { kind: 'intent', ...OF_KEY, ...place, fingerprint: 'f', nonce, previous };
+  const placement = { endpoint: 'e', incarnation: 'i', entry: 'd' };
+  return { kind: 'intent', ...OF_KEY, ...placement, fingerprint: 'f', nonce, previous };
 };
 const buildOutcome = (nonce: Nonce, verdict: 'ran' | 'may-have-run'): IntentStreamRecord => {
   return { kind: 'outcome', ...OF_KEY, nonce, verdict, status: 200, bodyDigest: 'd' };
--- a/packages/decisions/idempotency/table.ts
+++ b/packages/decisions/idempotency/table.ts
@@ -47,7 +47,7 @@
   readonly chains: Map<string, TableChain>;
   /** Position of the expiry sweep; null between two sweeps. */
   sweep: Iterator<TableChain> | null;
-  readonly texts: StringPool;
+  readonly strings: StringPool;
   standing: TableStanding;
   nextOffset: Offset;
   untimedKeys: number;
@@ -72,7 +72,7 @@
   settings,
   chains: new Map(),
   sweep: null,
-  texts: new Map(),
+  strings: new Map(),
   standing: 'catching-up',
   nextOffset: 0,
   untimedKeys: 0,
@@ -207,7 +207,7 @@
   if (offset < table.nextOffset) return 'ignored';
   table.nextOffset = offset + 1;
   if (isKeyExpired(record.issuedAt, now, table.settings)) return 'expired';
-  const shared = applyStringPool(table.texts, record);
+  const shared = applyStringPool(table.strings, record);
   return shared.kind === 'carry-forward'
     ? foldCarryForward(table, offset, shared)
     : foldChainRecord(table, offset, shared);
--- a/packages/decisions/idempotency/testing/endpointModel.ts
+++ b/packages/decisions/idempotency/testing/endpointModel.ts
@@ -9,11 +9,11 @@
   failure: createFailure('may-have-run', 'endpoint-failed', 'connection lost'),
 };
 
-const buildAnswer = (place: NoncePlacement) => ({
+const buildAnswer = (placement: NoncePlacement) => ({
   status: 200,
   headers: [],
-  body: new TextEncoder().encode(place.nonce),
-  bodyDigest: place.nonce,
+  body: new TextEncoder().encode(placement.nonce),
+  bodyDigest: placement.nonce,
 });
 
 const REFUSED: DispatchResult = {
@@ -29,12 +29,12 @@
 const runCall = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlacement,
+  placement: NoncePlacement,
   key: string,
   reply: (result: DispatchResult) => void,
 ): void => {
   const { table } = endpoint;
-  const { nonce } = place;
+  const { nonce } = placement;
   addTask(simulation, (atStart) => {
     if (endpoint.table !== table) {
       reply(LOST);
@@ -49,7 +49,7 @@
     // The entry daemon handles only the first reply.
     if (atStart === 'lose-answer') reply(LOST);
     addTask(simulation, (fault) => {
-      const answer = buildAnswer(place);
+      const answer = buildAnswer(placement);
       const { status, bodyDigest } = answer;
       decideNonce(
         table,
@@ -66,7 +66,7 @@
 const receiveDispatch = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlacement,
+  placement: NoncePlacement,
   key: string,
   reply: (result: DispatchResult) => void,
 ): void => {
@@ -77,7 +77,7 @@
     });
     return;
   }
-  const { nonce, incarnation } = place;
+  const { nonce, incarnation } = placement;
   const decision = decideNonce(endpoint.table, {
     kind: 'start',
     nonce,
@@ -85,7 +85,7 @@
     now: simulation.now,
   });
   if (decision.kind === 'run') {
-    runCall(simulation, endpoint, place, key, reply);
+    runCall(simulation, endpoint, placement, key, reply);
     return;
   }
   if (decision.kind !== 'refuse') return;
@@ -99,21 +99,21 @@
 export const sendDispatch = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlacement,
+  placement: NoncePlacement,
   key: string,
   fault: Fault,
   reply: (result: DispatchResult) => void,
 ): void => {
   if (fault === 'none') {
     addTask(simulation, () => {
-      receiveDispatch(simulation, endpoint, place, key, reply);
+      receiveDispatch(simulation, endpoint, placement, key, reply);
     });
     return;
   }
   if (fault !== 'lose-request') {
     // The sender times out while the message is still in transit.
     addTask(simulation, () => {
-      receiveDispatch(simulation, endpoint, place, key, () => undefined);
+      receiveDispatch(simulation, endpoint, placement, key, () => undefined);
     });
   }
   reply(LOST);
@@ -122,9 +122,9 @@
 const performFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlacement,
+  placement: NoncePlacement,
 ): FenceResult => {
-  const { nonce, incarnation } = place;
+  const { nonce, incarnation } = placement;
   const { table } = endpoint;
   const isFenceNotStored = simulation.mechanisms.fence === 'disabled' && !table.entries.has(nonce);
   if (isFenceNotStored && table.incarnation === incarnation) return { kind: 'fenced' };
@@ -136,7 +136,7 @@
 export const sendFence = (
   simulation: Simulation,
   endpoint: EndpointModel,
-  place: NoncePlacement,
+  placement: NoncePlacement,
   fault: Fault,
   reply: (result: FenceResult) => void,
 ): void => {
@@ -145,7 +145,7 @@
     return;
   }
   addTask(simulation, (later) => {
-    const result = performFence(simulation, endpoint, place);
+    const result = performFence(simulation, endpoint, placement);
     reply(fault === 'none' && later === 'none' ? result : { kind: 'unreachable' });
   });
 };
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -109,8 +109,8 @@
   }
 };
 
-const findEndpoint = (simulation: Simulation, place: NoncePlacement): EndpointModel =>
-  simulation.endpoints.find(({ id }) => id === place.endpoint) as EndpointModel;
+const findEndpoint = (simulation: Simulation, placement: NoncePlacement): EndpointModel =>
+  simulation.endpoints.find(({ id }) => id === placement.endpoint) as EndpointModel;
 
 const performEffect = (
   simulation: Simulation,
--- a/packages/decisions/idempotency/testing/fuzz.ts
+++ b/packages/decisions/idempotency/testing/fuzz.ts
@@ -29,7 +29,7 @@
   { weight: 1, arbitrary: fc.constant('late' as const) },
 );
 
-/** Weights of the commands; `retention` often restarts entry daemons on a trimmed log. */
+/** Weights of the commands; `retention` often restarts entry daemons on a pruned log. */
 export type Profile = 'faults' | 'retention';
 
 type Weights = Readonly<Record<Command['kind'], number>>;
@@ -46,15 +46,23 @@
     'restart-endpoint': 1,
     'drain-endpoint': 1,
     log: 2,
-    deliver: 2,
-    carry: 4,
-    trim: 3,
+    'deliver-late-append': 2,
+    'carry-forward': 4,
+    prune: 3,
   };
   switch (profile) {
     case 'faults':
       return faults;
     case 'retention':
-      return { ...faults, step: 90, read: 30, advance: 3, carry: 12, trim: 12, 'restart-entry': 4 };
+      return {
+        ...faults,
+        step: 90,
+        read: 30,
+        advance: 3,
+        'carry-forward': 12,
+        prune: 12,
+        'restart-entry': 4,
+      };
     default:
       return assertNever(profile);
   }
@@ -84,15 +92,15 @@
     case 'pause':
     case 'resume':
     case 'restart-entry':
-    case 'carry':
+    case 'carry-forward':
       return fc.record({ kind: fc.constant(kind), entry });
     case 'restart-endpoint':
     case 'drain-endpoint':
       return fc.record({ kind: fc.constant(kind), endpoint });
     case 'log':
       return fc.record({ kind: fc.constant(kind), mode: logMode });
-    case 'deliver':
-    case 'trim':
+    case 'deliver-late-append':
+    case 'prune':
       return fc.constant({ kind });
     default:
       return assertNever(kind);
@@ -166,13 +174,13 @@
     case 'log':
       simulation.log.mode = next.mode;
       return;
-    case 'deliver':
+    case 'deliver-late-append':
       addLateAppend(simulation);
       return;
-    case 'carry':
+    case 'carry-forward':
       appendCarryForward(simulation, next.entry);
       return;
-    case 'trim':
+    case 'prune':
       pruneLog(simulation);
       return;
     default:
@@ -202,10 +210,10 @@
     const ownRan = own.some(([nonce]) => simulation.executedNonces.has(nonce));
     const reportedVerdict = reply.kind === 'failure' ? reply.verdict : 'ran';
     if (reportedVerdict === 'not-run' && ownRan)
-      simulation.violations.push(`${requestId} was told not-run and ran`);
+      simulation.violations.push(`${requestId} was reported as not-run and ran`);
     if (reportedVerdict === 'ran' && runs !== 1) {
       simulation.violations.push(
-        `${requestId} was told ran, and its key ran ${runs.toString()} times`,
+        `${requestId} was reported as ran, and its key ran ${runs.toString()} times`,
       );
     }
   }
@@ -215,9 +223,9 @@
   for (const model of simulation.entries) {
     for (const [requestId, state] of model.requests) {
       if (state.kind !== 'finished')
-        simulation.violations.push(`${requestId} is left ${state.kind}`);
+        simulation.violations.push(`${requestId} did not finish and is ${state.kind}`);
       if (!simulation.replies.has(requestId))
-        simulation.violations.push(`${requestId} got no reply`);
+        simulation.violations.push(`${requestId} received no reply`);
     }
   }
 };
--- a/packages/decisions/idempotency/testing/simulation.ts
+++ b/packages/decisions/idempotency/testing/simulation.ts
@@ -67,7 +67,7 @@
   keyOfRequest: new Map(),
   replies: new Map(),
   violations: [],
-  statistics: { executions: 0, fences: 0, replays: 0, intents: 0, carried: 0, trimmed: 0 },
+  statistics: { executions: 0, fences: 0, replays: 0, intents: 0, carried: 0, pruned: 0 },
 });
 
 /** Adds a task of the network or an endpoint daemon. */
@@ -124,7 +124,7 @@
 
 /** With carry-forward disabled, daemons do not read carry-forward records. */
 const isVisible = (simulation: Simulation, record: IntentStreamRecord): boolean =>
-  simulation.mechanisms.carryForward === 'kept' || record.kind !== 'carry-forward';
+  simulation.mechanisms.carryForward === 'enabled' || record.kind !== 'carry-forward';
 
 /** Reads one batch into an entry daemon's table. */
 export const readLog = (simulation: Simulation, entry: EntryModel): void => {
@@ -158,7 +158,7 @@
   const floor = Math.min(simulation.log.records.length, ...needed);
   if (floor <= simulation.log.firstOffset) return;
   simulation.log.firstOffset = floor;
-  simulation.statistics.trimmed += 1;
+  simulation.statistics.pruned += 1;
 };
 
 /** Restarts an entry daemon, which then rebuilds its state from the log. */
--- a/packages/decisions/idempotency/testing/types.ts
+++ b/packages/decisions/idempotency/testing/types.ts
@@ -5,7 +5,7 @@
 import type { Verdict } from '../../../core/verdict.js';
 
 /** Tests disable a mechanism to show that the oracle detects its absence. */
-export type Mechanism = 'kept' | 'disabled';
+export type Mechanism = 'enabled' | 'disabled';
 
 export interface Mechanisms {
   /** Endpoint daemons store the fences that they confirm. */
@@ -36,9 +36,9 @@
   | { readonly kind: 'drain-endpoint'; readonly endpoint: number }
   | { readonly kind: 'log'; readonly mode: LogMode }
   /** The oldest late append reaches the log. */
-  | { readonly kind: 'deliver' }
-  | { readonly kind: 'carry'; readonly entry: number }
-  | { readonly kind: 'trim' };
+  | { readonly kind: 'deliver-late-append' }
+  | { readonly kind: 'carry-forward'; readonly entry: number }
+  | { readonly kind: 'prune' };
 
 export type LogMode = 'up' | 'down' | 'lose-answers';
 
@@ -87,7 +87,7 @@
   replays: number;
   intents: number;
   carried: number;
-  trimmed: number;
+  pruned: number;
 }
 
 export interface Simulation {
@@ -95,7 +95,7 @@
   now: Millis;
   sequence: number;
   readonly log: FakeLog;
-  /** Table that contains every record, from which the trim command finds the records to keep. */
+  /** Table that contains every record, from which the prune command finds the records to keep. */
   readonly observer: IntentTable;
   readonly entries: readonly EntryModel[];
   readonly endpoints: readonly EndpointModel[];
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -90,7 +90,7 @@
   readonly abandonedEarly: readonly Nonce[];
 }
 
-/** Effect of one record on its chain. */
+/** Effect of one record on its chain; `carried` is the effect of a carry-forward record. */
 export type FoldResult =
   'active' | 'void' | 'closed' | 'abandoned' | 'carried' | 'ignored' | 'expired';
 
@@ -205,7 +205,7 @@
       readonly kind: 'answer';
       readonly answer: StoredAnswer;
       readonly source: 'own' | 'stored';
-      /** The nonce that produced the answer. */
+      /** Placement of the nonce that produced the answer. */
       readonly place: NoncePlacement;
     }
   /** The key ran, and its answer is no longer available. */
@@ -233,13 +233,14 @@
   readonly maxIntents: number;
   /** Maximum number of attempts to append one outcome or abandoned record. */
   readonly maxRecordTries: number;
+  /** Interval between two of these attempts. */
   readonly recordRetryMs: Millis;
 }
 
 /** Read-only view of the daemon's state at the time of an event. */
 export interface IntentView {
   readonly now: Millis;
-  /** Whether the log answered its last read. */
+  /** `out` when the last read of the log failed. */
   readonly log: 'up' | 'out';
   readonly standing: TableStanding;
   /** Offset of the first record of the stream that is not folded yet. */
@@ -256,7 +257,7 @@
   readonly request: IntentRequest;
   /** Nonces that can never start: fenced ones, and this request's own undispatched ones. */
   readonly unstartable: readonly Nonce[];
-  /** Endpoints that refused this request. */
+  /** Endpoints that refused this request; they are not chosen again. */
   readonly refusedBy: readonly EndpointId[];
   /** Number of intents that this request appended so far. */
   readonly intents: number;
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -9,7 +9,7 @@
 import type { LeaseState } from '../membership/leaseTypes.js';
 import { mergeVerdicts, toResumeRefusal } from '../streams/verdicts.js';
 
-/** Step of a simulation: a fault or progress. `pick` modulo the number of objects selects one. */
+/** Step of a simulation: a fault or progress. */
 export interface AttemptAction {
   readonly kind:
     | 'send'
@@ -18,12 +18,13 @@
     | 'lose'
     | 'time-out'
     | 'refuse-connection'
-    | 'break-engine'
+    | 'toggle-engine'
     | 'leave'
     | 'restart'
     | 'renew'
     | 'advance'
     | 'shed';
+  /** Random number from which the step derives its choices. */
   readonly pick: number;
 }
 
@@ -77,7 +78,7 @@
 
 /**
  * Runs idempotent calls and a refused resume against endpoint daemons. Links lose, delay and refuse
- * messages; leases lapse; endpoints leave and restart, and engines break.
+ * messages; leases expire; endpoints leave and restart, and engines fail.
  *
  * @param actions - steps to run, after which every message in transit arrives
  * @param mechanisms - decisions under test
@@ -222,7 +223,7 @@
         receiveReply({ ...message, failure });
         return;
       }
-      case 'break-engine':
+      case 'toggle-engine':
         endpoint.engine = endpoint.engine === 'healthy' ? 'broken' : 'healthy';
         return;
       case 'leave':
@@ -252,14 +253,16 @@
   for (const message of messages.splice(0)) runMessage(message);
   for (const reply of replies.splice(0)) receiveReply(reply);
   return requests.flatMap(({ kind, reportedVerdict, executions }) =>
-    reportedVerdict === 'not-run' && executions > 0 ? [`a ${kind} was told not-run and ran`] : [],
+    reportedVerdict === 'not-run' && executions > 0
+      ? [`a ${kind} was reported as not-run and ran`]
+      : [],
   );
 };
 
 const anyAttemptAction: fc.Arbitrary<AttemptAction> = fc.record({
   kind: fc.constantFrom(
     ...(['send', 'send', 'send', 'deliver', 'deliver', 'answer', 'answer', 'time-out'] as const),
-    ...(['lose', 'refuse-connection', 'break-engine', 'leave', 'restart'] as const),
+    ...(['lose', 'refuse-connection', 'toggle-engine', 'leave', 'restart'] as const),
     ...(['renew', 'renew', 'advance', 'shed'] as const),
   ),
   pick: fc.nat({ max: 10_000 }),
--- a/packages/decisions/retries/notRun.promise.test.ts
+++ b/packages/decisions/retries/notRun.promise.test.ts
@@ -14,11 +14,15 @@
 
 const SEED = 606;
 const RUNS = 2_000;
-const ALL_MECHANISMS: Mechanisms = { fence: 'kept', readBack: 'kept', carryForward: 'kept' };
-const FALSE_NOT_RUN = /told not-run and ran/;
+const ALL_MECHANISMS: Mechanisms = {
+  fence: 'enabled',
+  readBack: 'enabled',
+  carryForward: 'enabled',
+};
+const FALSE_NOT_RUN = /reported as not-run and ran/;
 
 // Guards against a refusal that ignores an earlier attempt or generation that ran (P6), while links
-// lose, delay and refuse messages, leases lapse, endpoints leave and restart and engines break.
+// lose, delay and refuse messages, leases expire, endpoints leave and restart, and engines fail.
 test('P6: a call or resume that is refused as not run was not run', (t) => {
   fc.assert(buildRefusalProperty(ALL_REFUSAL_MECHANISMS), { seed: SEED, numRuns: RUNS });
   t.pass();
@@ -27,11 +31,11 @@
 const VARIANTS_WITHOUT_MECHANISM: Readonly<Record<string, readonly [RefusalMechanisms, RegExp]>> = {
   'the verdicts of earlier attempts': [
     { ...ALL_REFUSAL_MECHANISMS, resolve: (_earlier, failure) => failure },
-    /a call was told/,
+    /a call was reported/,
   ],
   'the verdict of a refused resume': [
     { ...ALL_REFUSAL_MECHANISMS, refuseResume: (failure) => failure },
-    /a resume was told/,
+    /a resume was reported/,
   ],
 };
 
@@ -96,7 +100,7 @@
       for (const effect of step.effects) {
         const isNotRun = effect.kind === 'fail' && effect.failure.verdict === 'not-run';
         if (isNotRun && ends.some((end) => end !== 'start-refused')) {
-          throw new Error('told not-run and ran');
+          throw new Error('reported as not-run and ran');
         }
       }
     }
@@ -134,7 +138,7 @@
   fc.property(buildCommandList('faults'), (commands) => {
     const { violations } = runCommands(commands, mechanisms);
     const falseReports = violations.filter((violation) =>
-      /was told not-run and ran/.test(violation),
+      /was reported as not-run and ran/.test(violation),
     );
     if (falseReports.length > 0) throw new Error(falseReports.join('; '));
   });
