--- a/packages/decisions/configuration/configuration.test.ts
+++ b/packages/decisions/configuration/configuration.test.ts
@@ -72,7 +72,7 @@
   entities: toSnapshot(state).entities,
 });
 
-// Guards against two operators who are both told that their change is in force.
+// Guards against reporting to two operators that each one's conflicting change is in force.
 test('of two records based on one offset the first is in force and the second is void', (t) => {
   const { results } = foldAll([
     toRecord(buildOutProposal(null), 'ann'),
@@ -82,7 +82,7 @@
   t.like(results[1], { kind: 'void', winner: { offset: 0, author: 'ann' } });
 });
 
-// Guards against a change that is based on a record that never was in force.
+// Guards against putting a change in force that is based on a record that never was in force.
 test('a record based on an unknown offset is void and has no winner', (t) => {
   const { results } = foldAll([toRecord(buildOutProposal(7))]);
   t.like(results[0], { kind: 'void', winner: null });
--- a/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
+++ b/packages/decisions/configuration/configurationNeverReverts.promise.test.ts
@@ -69,7 +69,7 @@
       endOnFailure: true,
     });
     t.true(result.failed);
-    t.regex(String(result.errorInstance), /went back|differ/);
+    t.regex(String(result.errorInstance), /decreased|differ/);
   });
 }
 
@@ -91,7 +91,7 @@
   t.pass();
 });
 
-// Guards against an oracle for retention that finds nothing.
+// Guards against a retention oracle that cannot detect a loss.
 test('P10: the oracle finds a loss when snapshots are planned too late', (t) => {
   const gapsMs = Array.from({ length: 200 }, () => 10);
   const retention = { retentionMs: 300, retentionRecords: Infinity };
--- a/packages/decisions/configuration/configurationProperty.fixture.ts
+++ b/packages/decisions/configuration/configurationProperty.fixture.ts
@@ -7,7 +7,7 @@
     ...(['propose', 'propose', 'append', 'append', 'append', 'append', 'read', 'read'] as const),
     ...(['deliver', 'deliver', 'deliver', 'heartbeat', 'heartbeat'] as const),
     ...(['end-move', 'notify-move'] as const),
-    ...(['plan-snapshot', 'retain', 'restart', 'outage', 'ask-peer'] as const),
+    ...(['plan-snapshot', 'expire-records', 'restart', 'outage', 'send-snapshot'] as const),
     ...(['quarantine', 'later-format'] as const),
   ),
   pick: fc.nat({ max: 10_000 }),
--- a/packages/decisions/configuration/configurationSimulation.fixture.ts
+++ b/packages/decisions/configuration/configurationSimulation.fixture.ts
@@ -30,10 +30,10 @@
   | 'append'
   | 'read'
   | 'outage'
-  | 'retain'
+  | 'expire-records'
   | 'restart'
   | 'heartbeat'
-  | 'ask-peer'
+  | 'send-snapshot'
   | 'deliver';
 
 export interface SimulationAction {
@@ -142,7 +142,7 @@
 
 const checkDaemon = (simulation: Simulation, daemon: Daemon, before: ConfigurationState): void => {
   const { state } = daemon;
-  if (state.nextOffset < before.nextOffset) throw new Error('the offset went back');
+  if (state.nextOffset < before.nextOffset) throw new Error('the offset decreased');
   if (state.standing !== 'exact') return;
   const expected = foldReference(simulation.history.slice(0, state.nextOffset)).entities;
   const wanted = describeEntities(expected, simulation.now);
@@ -280,7 +280,7 @@
     case 'outage':
       simulation.log = simulation.log === 'up' ? 'out' : 'up';
       return;
-    case 'retain':
+    case 'expire-records':
       return expireRecords(simulation, pick);
     case 'restart':
       other.state = createConfiguration();
@@ -291,7 +291,7 @@
       simulation.messages.push({ to, message: { kind: 'delta', delta } });
       return;
     }
-    case 'ask-peer':
+    case 'send-snapshot':
       if (entry.state.standing === 'exact' && other.role === 'entry') {
         const message = { kind: 'snapshot', snapshot: toSnapshot(entry.state) } as const;
         simulation.messages.push({ to: other, message });
--- a/packages/decisions/configuration/constants.ts
+++ b/packages/decisions/configuration/constants.ts
@@ -1,10 +1,10 @@
 /** Format of the records that this version writes and reads. */
 export const CONTROL_FORMAT = 1 as const;
 
-/** Raw records kept for peers that are slightly behind; one further behind gets a snapshot. */
+/** Raw records retained for peers slightly behind; a peer further behind receives a snapshot. */
 export const MAX_RECENT_RECORDS = 256;
 
-/** Bytes of records in one heartbeat answer; the rest follows in the next answers. */
+/** Maximum bytes of records in one heartbeat answer; the rest follows in the next answers. */
 export const DELTA_MAX_BYTES = 4_096;
 
 /** Fraction of the retained log; a snapshot is due when the newest one lies before this point. */
--- a/packages/decisions/configuration/exchange.ts
+++ b/packages/decisions/configuration/exchange.ts
@@ -63,7 +63,7 @@
   const selected: RawRecord[] = [];
   for (const record of records) {
     bytes += JSON.stringify(record.body).length;
-    // A single record over the budget is sent too; otherwise its reader could never get past it.
+    // A single record over the budget is sent too; otherwise the peer could never read past it.
     if (bytes > DELTA_MAX_BYTES && selected.length > 0) break;
     selected.push(record);
   }
@@ -72,7 +72,7 @@
 
 /**
  * Decides what to send to a peer: the records that it misses, or a snapshot when these are no
- * longer kept.
+ * longer retained.
  *
  * @param state - own configuration
  * @param offset - first offset that the peer has not folded
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -101,7 +101,7 @@
   return (known?.offset ?? null) === record.basedOn ? 'matches' : 'differs';
 };
 
-/** Reports whether a record takes effect and, if not, which record it lost against. */
+/** Reports whether a record takes effect and, if not, which record makes it void. */
 const checkRecord = (
   entities: Entities,
   record: EntityRecord,
--- a/packages/decisions/configuration/proposals.ts
+++ b/packages/decisions/configuration/proposals.ts
@@ -39,8 +39,8 @@
  *
  * @param state - configuration
  * @param proposal - parsed proposal
- * @returns the change that it would make, the record that it loses against, or the reason for which
- *   it is refused
+ * @returns the change that it would make, the record that would make it void, or the reason for
+ *   which it is refused
  */
 export const checkProposal = (state: ConfigurationState, proposal: Proposal): ProposalCheck => {
   if (proposal.kind === 'move' && proposal.entity !== proposal.body.name) {
@@ -53,7 +53,7 @@
     if (result.winner !== null) return { kind: 'lost', winner: result.winner };
     const message =
       proposal.kind === 'move-ended'
-        ? `no move is called ${proposal.entity}`
+        ? `no move is named ${proposal.entity}`
         : `record: field "basedOn": nothing is in force under ${proposal.entity}`;
     return { kind: 'refused', failure: createFailure('not-run', 'bad-request', message) };
   }
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -86,7 +86,7 @@
   readonly author: string;
 };
 
-/** Record in force that another record lost against. */
+/** Record in force because of which another record is void. */
 export interface Winner {
   readonly offset: Offset;
   readonly author: string;
@@ -98,10 +98,10 @@
   /** The record has no effect. `winner` is null when nothing that it builds on is in force. */
   | { readonly kind: 'void'; readonly record: EntityRecord; readonly winner: Winner | null }
   | { readonly kind: 'snapshot'; readonly asOf: Offset }
-  /** The record is unreadable or deferred, or its offset is not the next one. */
+  /** No effect: the record is unreadable or deferred, or its offset is not the next one. */
   | { readonly kind: 'known' };
 
-/** Record as it was read from the log, kept for peers that are behind. */
+/** Record as it was read from the log, retained for peers that are behind. */
 export interface RawRecord {
   readonly offset: Offset;
   readonly at: Millis;
