Reword the decisions of version moves

The state of the escalation was 'asked' and is now 'called', as its comment and the tests say. The event of an operator's rollback and the ramp of the shares have their usual names. A test title read 'a version that slow gets no requests' and now gives the behaviour in parentheses.

--- a/packages/decisions/moves/constants.ts
+++ b/packages/decisions/moves/constants.ts
@@ -10,7 +10,7 @@
  */
 export const STAGE_MIN_ANSWERS: readonly number[] = [0, 60, 120, 240, 480];
 
-/** Fraction of the time to the deadline in which the stages are passed; the rest is reserve. */
+/** Fraction of the time to the deadline in which the stages are passed; the rest is a margin. */
 export const RAMP_TIME_FRACTION = 0.85;
 
 /** Fraction of the time to the deadline that is left when a move below full share escalates. */
--- a/packages/decisions/moves/move.test.ts
+++ b/packages/decisions/moves/move.test.ts
@@ -114,7 +114,7 @@
 test('a stop is effective locally at once, and its record is appended until read back', (t) => {
   const moving = decideMove(initMove(), { kind: 'move-record', move: MOVE, now: 0 }).state;
   t.is(getNewVersionShare(moving, 'r'), 0.04);
-  const stopped = decideMove(moving, { kind: 'take-back-order', author: 'o', now: 10 });
+  const stopped = decideMove(moving, { kind: 'rollback-order', author: 'o', now: 10 });
   t.is(getNewVersionShare(stopped.state, 'r'), 0);
   t.deepEqual(stopped.effects.at(-1), { kind: 'append-ended', name: 'm', outcome: 'taken-back' });
   const again = decideMove(stopped.state, { kind: 'tick', now: 2_010 });
--- a/packages/decisions/moves/move.ts
+++ b/packages/decisions/moves/move.ts
@@ -43,7 +43,7 @@
   routes: NO_ROUTES,
   fullSince: null,
   terminalAppendAt: 0,
-  operator: 'not-asked',
+  operator: 'not-called',
 });
 
 /**
@@ -138,12 +138,12 @@
 const checkEscalation = (state: StateWithMove, shares: Shares, now: Millis): MoveStep => {
   const { move } = state;
   const escalateAt = move.deadline - (move.deadline - move.startedAt) * ESCALATION_TIME_FRACTION;
-  if (now < escalateAt || state.operator === 'asked' || shares.progress === 'full') {
+  if (now < escalateAt || state.operator === 'called' || shares.progress === 'full') {
     return toStep(state);
   }
   const reason = shares.suspicion === 'some' ? 'unclear-evidence' : 'too-little-evidence';
   return toStep<MoveState, MoveEffect>(
-    { ...state, operator: 'asked' },
+    { ...state, operator: 'called' },
     { kind: 'needs-operator', name: move.name, reason },
   );
 };
@@ -227,7 +227,7 @@
       return applyTerminalRecord(state, event.name, event.outcome);
     case 'evidence':
       return handleEvidence(state, event);
-    case 'take-back-order': {
+    case 'rollback-order': {
       const isOpen = state.phase === 'moving' || state.phase === 'finishing';
       return hasMove(state) && isOpen ? stopLocally(state, null, event.now) : toStep(state);
     }
--- a/packages/decisions/moves/moveProperty.fixture.ts
+++ b/packages/decisions/moves/moveProperty.fixture.ts
@@ -33,12 +33,14 @@
   if (!BAD_FROM_START.has(behaviour)) return null;
   // Requests are drawn independently, so one run may deviate by three standard deviations.
   const bound = 0.05 * run.requests + 3 * Math.sqrt(0.05 * run.requests);
-  return run.requestsToNew <= bound ? null : `${run.requestsToNew.toString()} requests to the new`;
+  return run.requestsToNew <= bound
+    ? null
+    : `${run.requestsToNew.toString()} requests to the new version`;
 };
 
 /**
  * Builds the property of P4: the move to a good version finishes by its deadline; a bad version is
- * taken back and receives no requests from 5 s after its fault is detectable, and one that is bad
+ * rolled back and receives no requests from 5 s after its fault is detectable, and one that is bad
  * from the start receives at most a canary's share.
  *
  * @returns a fast-check property that throws an error with the violation
@@ -47,7 +49,7 @@
   fc.property(fc.constantFrom(...BEHAVIOURS), fc.nat(MAX_SEED), (behaviour, seed) => {
     const run = runMove({ seed, behaviour, requestsPerSecond: REQUESTS_PER_SECOND });
     const violation = checkMove(behaviour, run);
-    if (violation !== null) throw new Error(`a version that is ${behaviour}: ${violation}`);
+    if (violation !== null) throw new Error(`version ${behaviour}: ${violation}`);
   });
 
 /**
--- a/packages/decisions/moves/moveSimulation.fixture.ts
+++ b/packages/decisions/moves/moveSimulation.fixture.ts
@@ -261,7 +261,7 @@
     if (now % TICK_MS === 0) sendReports();
     if (random.next() < 0.0005) restartEndpoint();
     if (orderAt !== undefined && now === orderAt) {
-      stepEntry(ENTRY_DAEMONS - 1, { kind: 'take-back-order', author: 'operator', now });
+      stepEntry(ENTRY_DAEMONS - 1, { kind: 'rollback-order', author: 'operator', now });
     }
     entries.forEach((_, index) => {
       if ((now + index * STEP_MS) % TICK_MS === 0) stepEntry(index, { kind: 'tick', now });
--- a/packages/decisions/moves/notices.ts
+++ b/packages/decisions/moves/notices.ts
@@ -82,9 +82,9 @@
 const handleFailure = (state: NoticeState, id: string, now: Millis): NoticeStep => {
   const notice = state.get(id);
   if (notice?.phase !== 'sending') return toStep(state);
-  const pause = Math.min(NOTICE_RETRY_MAX_MS, NOTICE_RETRY_FIRST_MS * 2 ** notice.failures);
+  const backoffMs = Math.min(NOTICE_RETRY_MAX_MS, NOTICE_RETRY_FIRST_MS * 2 ** notice.failures);
   const failures = notice.failures + 1;
-  const waiting: OpenNotice = { ...notice, phase: 'waiting', dueAt: now + pause, failures };
+  const waiting: OpenNotice = { ...notice, phase: 'waiting', dueAt: now + backoffMs, failures };
   return toStep(updateNotice(state, id, waiting));
 };
 
--- a/packages/decisions/moves/share.ts
+++ b/packages/decisions/moves/share.ts
@@ -27,9 +27,9 @@
   requestHash / HASH_VALUES < share ? 'new' : 'old';
 
 const computeTimeStage = (move: Move, now: Millis): number => {
-  const growthMs = (move.deadline - move.startedAt) * RAMP_TIME_FRACTION;
+  const rampMs = (move.deadline - move.startedAt) * RAMP_TIME_FRACTION;
   // There is one more interval than there are stages, so that the full share has time to soak.
-  return Math.floor(((now - move.startedAt) / growthMs) * (SHARE_STAGES.length + 1));
+  return Math.floor(((now - move.startedAt) / rampMs) * (SHARE_STAGES.length + 1));
 };
 
 const computeEvidenceStage = ({ answers, logEvidence }: RouteEvidence): number => {
@@ -59,5 +59,5 @@
     if (routeEvidence.logEvidence >= Math.log(SUSPICION_RATIO)) suspicion = 'some';
   }
   const isFull = routes.size > 0 && [...routes.values()].every((share) => share === 1);
-  return { kind: 'shares', routes, progress: isFull ? 'full' : 'growing', suspicion };
+  return { kind: 'shares', routes, progress: isFull ? 'full' : 'ramping', suspicion };
 };
--- a/packages/decisions/moves/types.ts
+++ b/packages/decisions/moves/types.ts
@@ -122,7 +122,7 @@
   | {
       readonly kind: 'shares';
       readonly routes: ReadonlyMap<string, number>;
-      readonly progress: 'growing' | 'full';
+      readonly progress: 'ramping' | 'full';
       /** Whether a fault is suspected on any route, without being significant yet. */
       readonly suspicion: 'none' | 'some';
     };
@@ -142,7 +142,7 @@
   /** Instant of the latest append of a terminal record. */
   readonly terminalAppendAt: Millis;
   /** Whether an operator was called because the move may miss its deadline. */
-  readonly operator: 'not-asked' | 'asked';
+  readonly operator: 'not-called' | 'called';
 }
 
 /** Input of a move's decision at an entry daemon; `tick` comes every 500 ms. */
@@ -155,7 +155,7 @@
       readonly offset: Offset;
     }
   | { readonly kind: 'evidence'; readonly report: EvidenceReport; readonly now: Millis }
-  | { readonly kind: 'take-back-order'; readonly author: string; readonly now: Millis }
+  | { readonly kind: 'rollback-order'; readonly author: string; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
 /** Shares to apply, records to append and notifications of operators. */
--- a/packages/decisions/moves/versionMove.promise.test.ts
+++ b/packages/decisions/moves/versionMove.promise.test.ts
@@ -11,7 +11,7 @@
     runMove({ seed: 100 + index, behaviour, requestsPerSecond: REQUESTS_PER_SECOND }),
   );
 
-// Guards against a good version that is taken back or misses its deadline when reports are lost,
+// Guards against a good version that is rolled back or misses its deadline when reports are lost,
 // late and reordered, endpoints restart, the log is unavailable and both versions fail more often.
 test('P4: a good version finishes by its deadline in every run', (t) => {
   for (const run of runSeeds('good', GOOD_RUNS)) {
@@ -31,7 +31,7 @@
   'fails-on-one-route',
 ] as const) {
   // Guards against a bad version that still receives requests after its fault is detectable.
-  test(`P4: a version that ${behaviour} gets no requests 5 s after a detectable fault`, (t) => {
+  test(`P4: a bad version (${behaviour}) receives no requests 5 s after a detectable fault`, (t) => {
     for (const run of runSeeds(behaviour, BAD_RUNS)) {
       t.is(run.record?.outcome, 'taken-back');
       t.is(run.lateRequestsToNew, 0);
@@ -76,7 +76,8 @@
   t.true(run.requestsToNew < 0.08 * run.requests);
 });
 
-// Guards against an oracle that finds nothing: without evidence the canary keeps its share.
+// Guards against an oracle that cannot detect a violation: without evidence the canary keeps its
+// share.
 test('P4: the simulation finds a violation without the evidence', (t) => {
   const scenario = { seed: 100, behaviour: 'fails-always', requestsPerSecond: 40 } as const;
   t.true(runMove({ ...scenario, reports: 'none' }).lateRequestsToNew > 0);
