Reword the decisions of retries, quarantine and preemption

The reason 'answer-shown' is 'answer-delivered': a part of the answer has reached the caller. Fractions of a retry accumulate instead of being 'saved'. The sequences left after a preemption are called so instead of 'kept'.

--- a/packages/decisions/preemption/preemption.ts
+++ b/packages/decisions/preemption/preemption.ts
@@ -95,14 +95,16 @@
     .filter((holder) => holder.preemptibility === 'restartable')
     .map((holder) => ({ holder, cost: computePreemptionCost(holder, inputs) }))
     .sort((left, right) => left.cost - right.cost);
-  let kept = holders;
+  let remainingHolders = holders;
   let { usedTokens } = inputs;
   const requestIds: string[] = [];
   for (const { holder } of byCost) {
     requestIds.push(holder.requestId);
-    kept = kept.filter((item) => item !== holder);
+    remainingHolders = remainingHolders.filter((item) => item !== holder);
     usedTokens -= getSize(holder);
-    if (estimateOverflow({ ...inputs, usedTokens }, kept) <= inputs.overflowProbability) {
+    if (
+      estimateOverflow({ ...inputs, usedTokens }, remainingHolders) <= inputs.overflowProbability
+    ) {
       return { kind: 'preempt', requestIds, outcome: 'enough' };
     }
   }
--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -9,7 +9,8 @@
 
 /**
  * Maximum number of endpoints that run a fingerprint at once before one of its requests completed.
- * All of them may crash before the first crash is known, so it equals the tolerated crashes.
+ * All of them may crash before the first crash is known, so it equals the number of crashes that are
+ * tolerated.
  */
 export const MAX_ENDPOINTS_BEFORE_COMPLETION = 2;
 
--- a/packages/decisions/retries/constants.ts
+++ b/packages/decisions/retries/constants.ts
@@ -21,7 +21,7 @@
 /** Upper bound of the jittered delay before the second attempt; each later attempt doubles it. */
 export const BACKOFF_BASE_MS = 50;
 
-/** Maximum of this upper bound for later attempts. */
+/** Maximum of that upper bound. */
 export const BACKOFF_MAX_MS = 2_000;
 
 /** Maximum number of budgets, one per customer and class; the least recently updated is dropped. */
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -32,7 +32,7 @@
 );
 
 // Guards against a retry storm, a retry of work that must not run twice, a retry after a part of
-// the answer was shown, and a retry that starts too late to finish before the deadline.
+// the answer was delivered, and a retry that starts too late to finish before the deadline.
 test('retries respect the budget, the deadline and repeatability under any failures', (t) => {
   const property = fc.property(fc.array(anyEvent, { maxLength: 300, size: 'max' }), (events) => {
     const random = createRandomSource(SEED);
@@ -54,7 +54,7 @@
       retries += 1;
       const allowed = BUDGET_FLOOR + successes * RETRIES_PER_SUCCESS + now * FLOOR_REFILL_PER_MS;
       if (retries > allowed + 1e-6) throw new Error(`${retries.toString()} retries`);
-      if (attempt.shown === 'some') throw new Error('answer was shown');
+      if (attempt.shown === 'some') throw new Error('answer was delivered');
       if (attempt.repeat === 'never' && verdict !== 'not-run') throw new Error('may run twice');
       if (now + outcome.decision.delayMs + attempt.minAttemptMs > attempt.deadline) {
         throw new Error('too late');
@@ -66,14 +66,14 @@
 });
 
 // Guards against a policy that satisfies the property above by never retrying.
-test('an idempotent request is retried after a loss, or given up with the reason', (t) => {
+test('an idempotent request is retried after a loss, or fails with the reason', (t) => {
   const attempt = {
     attempts: 1,
     repeat: 'idempotent',
     shown: 'nothing',
     minAttemptMs: 10,
   } as const;
-  const lost = createFailure('may-have-run', 'endpoint-lost', 'gone', 40);
+  const lost = createFailure('may-have-run', 'endpoint-lost', 'endpoint lost', 40);
   const random = { next: () => 0.5 };
   const first = decideRetry(initRetryBudget(0), { ...attempt, deadline: 1_000 }, lost, 0, random);
   t.deepEqual(first.decision, { kind: 'retry', delayMs: 65 });
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -2,7 +2,7 @@
 
 /** Retry budget of one customer in one class. */
 export interface RetryBudget {
-  /** Retries that are left; a fraction is saved until it reaches a whole retry. */
+  /** Retries that are left; fractions accumulate until they reach a whole retry. */
   readonly retries: number;
   readonly updatedAt: Millis;
 }
@@ -23,7 +23,7 @@
 /** Why a failed attempt is not retried. */
 export type GiveUpReason =
   | 'permanent-failure'
-  | 'answer-shown'
+  | 'answer-delivered'
   | 'may-have-run'
   | 'attempts-spent'
   | 'deadline-too-near'
