Reword placement in terms of memory use and samples

Load reports are "sampled at" instead of "taken at", used memory is no longer "held" memory, and the bench's patience is a maximum wait. The comments on the forecast refresh and on the overflow bound of critical classes say what the share and the bound refer to.

--- a/packages/decisions/placement/choosePlacement.test.ts
+++ b/packages/decisions/placement/choosePlacement.test.ts
@@ -214,7 +214,7 @@
 });
 
 // Guards against short lookups that queue behind long answers.
-test('the last slots are reserved for critical classes, which go where the wait is shortest', (t) => {
+test('the last slots are reserved for critical classes, which are placed where the wait is shortest', (t) => {
   const nearlyFull = buildEndpoint('a', { limit: 20, running: 19 });
   t.is(choose([nearlyFull]).kind, 'wait');
   const lookup = buildRequest({
--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -75,7 +75,7 @@
 
 /**
  * Starts at the round-robin position among all candidates and skips full endpoints, so that a full
- * endpoint does not shift the turn of the others.
+ * endpoint does not change the order of the others.
  */
 const chooseRoundRobin = (
   request: PlacementRequest,
--- a/packages/decisions/placement/constants.ts
+++ b/packages/decisions/placement/constants.ts
@@ -45,13 +45,19 @@
 /** Longest extrapolation of a load report; beyond this age membership suspects the endpoint. */
 export const MAX_EXTRAPOLATION_MS = 1_500;
 
-/** Progress after which a placement's forecast is refreshed, as a share of its generated tokens. */
+/**
+ * Progress after which a placement's forecast is refreshed, as a share of the tokens generated at
+ * the last forecast.
+ */
 export const FORECAST_REFRESH_SHARE = 0.125;
 
 /** Minimum progress in tokens between two refreshes of a placement's forecast. */
 export const FORECAST_REFRESH_TOKENS = 16;
 
-/** Factor on the accepted overflow probability for critical classes, and its upper bound. */
+/**
+ * Factor on the accepted overflow probability for critical classes, and the upper bound of the
+ * product.
+ */
 export const CRITICAL_OVERFLOW_FACTOR = 20;
 export const MAX_ACCEPTED_OVERFLOW = 0.2;
 
--- a/packages/decisions/placement/crowded.bench.ts
+++ b/packages/decisions/placement/crowded.bench.ts
@@ -72,7 +72,7 @@
 
 /** Finds the request rate at which mean demand for unlimited memory is the given share. */
 const findRate = (share: number): number => {
-  const wanted = share * OPTIONS.engines * OPTIONS.memoryTokens;
+  const targetTokens = share * OPTIONS.engines * OPTIONS.memoryTokens;
   const settings = { ...LIMIT_ONLY, startLimit: 100_000, maxLimit: 100_000, maxUnconfirmed: 1e6 };
   const unlimited: Variant = {
     name: 'unlimited',
@@ -83,7 +83,7 @@
   let rate = 16;
   for (let attempt = 0; attempt < 3; attempt += 1) {
     const demand = runVariant(unlimited, rate, 99, CALIBRATION_MS, 1e9).meanMemoryTokens;
-    rate *= wanted / demand;
+    rate *= targetTokens / demand;
   }
   return rate;
 };
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -102,9 +102,9 @@
   readonly entryOf: Map<string, ClusterEntry>;
   readonly firstTokens: Map<string, Millis>;
   readonly random: ReturnType<typeof createRandomSource>;
-  readonly reports: { readonly takenAt: Millis; readonly views: readonly EndpointView[] }[];
+  readonly reports: { readonly sampledAt: Millis; readonly views: readonly EndpointView[] }[];
   readonly outcomes: RequestOutcome[];
-  takenAt: Millis;
+  sampledAt: Millis;
 }
 
 const createEndpoint = (name: string, variant: Variant, memoryTokens: number): ClusterEndpoint => {
@@ -140,7 +140,7 @@
   random: createRandomSource(options.seed),
   reports: [],
   outcomes: [],
-  takenAt: 0,
+  sampledAt: 0,
 });
 
 const applyAdmissionEvent = (endpoint: ClusterEndpoint, event: AdmissionEvent): void => {
@@ -210,7 +210,7 @@
   now: Millis,
 ): boolean => {
   const excluded = new Set<string>();
-  const ageMs = now - cluster.takenAt;
+  const ageMs = now - cluster.sampledAt;
   const views = cluster.endpoints.map((endpoint) => ({ ...endpoint.view, loadAgeMs: ageMs }));
   for (;;) {
     const decision = choosePlacement(
@@ -255,7 +255,7 @@
 
 const receiveItem = (cluster: Cluster, item: WorkItem): void => {
   const entry = cluster.entries[item.entry] as ClusterEntry;
-  const { targets, promptTokens, patienceMs } = item.work;
+  const { targets, promptTokens, maxWaitMs } = item.work;
   const key = { className: targets.className, customer: item.customer, version: 'v1' };
   applyQueueEvent(cluster, entry, {
     kind: 'enqueue',
@@ -268,7 +268,7 @@
       weight: 1,
       predictedTokens: promptTokens + entry.survival.estimateRemaining(key, 0).mean,
       enqueuedAt: item.at,
-      latestStartAt: item.at + patienceMs,
+      latestStartAt: item.at + maxWaitMs,
     },
   });
 };
@@ -336,16 +336,16 @@
 
 const updateReports = (cluster: Cluster, now: Millis): void => {
   if (now % HEARTBEAT_MS === 0) {
-    cluster.reports.push({ takenAt: now, views: cluster.endpoints.map(buildView) });
+    cluster.reports.push({ sampledAt: now, views: cluster.endpoints.map(buildView) });
   }
   const [oldest] = cluster.reports;
-  if (oldest === undefined || oldest.takenAt + LOAD_LAG_MS > now) return;
+  if (oldest === undefined || oldest.sampledAt + LOAD_LAG_MS > now) return;
   cluster.reports.shift();
-  cluster.takenAt = oldest.takenAt;
+  cluster.sampledAt = oldest.sampledAt;
   cluster.endpoints.forEach((endpoint, index) => {
     endpoint.view = oldest.views[index] as EndpointView;
     for (const entry of cluster.entries)
-      entry.placements.applyLoadReport(endpoint.engine.name, oldest.takenAt);
+      entry.placements.applyLoadReport(endpoint.engine.name, oldest.sampledAt);
   });
 };
 
--- a/packages/decisions/placement/crowded/workload.ts
+++ b/packages/decisions/placement/crowded/workload.ts
@@ -12,7 +12,7 @@
   readonly outputScaleTokens: number;
   readonly tailShape: number;
   /** Longest time that a request waits in a queue. */
-  readonly patienceMs: Millis;
+  readonly maxWaitMs: Millis;
 }
 
 /** Request classes of a cash pooling application: lookups, summaries and long memos. */
@@ -24,7 +24,7 @@
     minOutputTokens: 5,
     outputScaleTokens: 20,
     tailShape: 4,
-    patienceMs: 30_000,
+    maxWaitMs: 30_000,
   },
   {
     targets: { className: 'summary', importance: 'background', answerLength: 'short' },
@@ -33,7 +33,7 @@
     minOutputTokens: 40,
     outputScaleTokens: 200,
     tailShape: 3,
-    patienceMs: 300_000,
+    maxWaitMs: 300_000,
   },
   {
     targets: { className: 'memo', importance: 'standard', answerLength: 'long' },
@@ -42,7 +42,7 @@
     minOutputTokens: 100,
     outputScaleTokens: 1_200,
     tailShape: 2.4,
-    patienceMs: 600_000,
+    maxWaitMs: 600_000,
   },
 ];
 
@@ -61,10 +61,10 @@
 }
 
 const pickClass = (random: RandomSource): WorkClass => {
-  let left = random.next();
+  let remainder = random.next();
   for (const work of WORK_CLASSES) {
-    left -= work.share;
-    if (left < 0) return work;
+    remainder -= work.share;
+    if (remainder < 0) return work;
   }
   return WORK_CLASSES[0] as WorkClass;
 };
--- a/packages/decisions/placement/headroom.ts
+++ b/packages/decisions/placement/headroom.ts
@@ -33,6 +33,7 @@
 export interface CandidateCheck {
   readonly view: EndpointView;
   readonly candidate: PlacementCandidate;
+  /** Whether the predicted overflow probability permits the request. */
   readonly room: 'fits' | 'too-full';
   /** Score bonus of the cached prefix, as a share of memory. */
   readonly prefixBonus: number;
@@ -101,19 +102,19 @@
   const load = inputs.placements.getLoad(endpoint.endpoint);
   const growthSinceReport =
     (endpoint.tokensPerSecond * Math.min(endpoint.loadAgeMs, MAX_EXTRAPOLATION_MS)) / 1_000;
-  const heldTokens = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
+  const usedTokens = Math.max(0, endpoint.memoryUsedTokens - (load?.endedTokens ?? 0));
   clearMemoryChange(scratch);
   mergeMemoryChange(scratch, getRequestChange(inputs, endpoint.version ?? ''));
   if (load !== undefined) mergeMemoryChange(scratch, load.change);
   const unknownCount = endpoint.running - (load?.includedCount ?? 0) - (load?.endedCount ?? 0);
   if (unknownCount > 0) {
-    const tokens = Math.max(0, heldTokens - (load?.includedTokens ?? 0));
+    const tokens = Math.max(0, usedTokens - (load?.includedTokens ?? 0));
     applyUnknownSequences(scratch, survival, unknownCount, tokens / unknownCount);
   }
-  // Preempted sequences hold no memory now, but reclaim it before new sequences start.
-  const preemptedTokens = (endpoint.waiting * heldTokens) / Math.max(1, endpoint.running);
+  // Preempted sequences use no memory now, but reclaim it before new sequences start.
+  const preemptedTokens = (endpoint.waiting * usedTokens) / Math.max(1, endpoint.running);
   const budget: MemoryBudget = {
-    used: heldTokens + growthSinceReport + preemptedTokens + (load?.newTokens ?? 0),
+    used: usedTokens + growthSinceReport + preemptedTokens + (load?.newTokens ?? 0),
     total: computeClassMemory(endpoint.memoryTotalTokens, request.targets),
     horizonTokens: computeHorizonTokens(endpoint, inputs.policy.horizonMs),
   };
--- a/packages/decisions/placement/placementTable.ts
+++ b/packages/decisions/placement/placementTable.ts
@@ -43,8 +43,8 @@
    * `count` requests.
    */
   readonly recordRefusal: (endpoint: EndpointId, count: number, now: Millis) => void;
-  /** Applies a load report, sampled at `takenAt` on this daemon's clock, to the totals. */
-  readonly applyLoadReport: (endpoint: EndpointId, takenAt: Millis) => void;
+  /** Applies a load report, sampled at `sampledAt` on this daemon's clock, to the totals. */
+  readonly applyLoadReport: (endpoint: EndpointId, sampledAt: Millis) => void;
   /** Removes an endpoint and its placements. */
   readonly removeEndpoint: (endpoint: EndpointId) => void;
   readonly listPlacements: (endpoint: EndpointId) => readonly LocalPlacement[];
@@ -168,17 +168,17 @@
       entry.load.requestsAtRefusal = count;
       entry.refusedAt = now;
     },
-    applyLoadReport: (endpoint, takenAt) => {
+    applyLoadReport: (endpoint, sampledAt) => {
       const entry = entries.get(endpoint);
       if (entry === undefined) return;
       for (const tracked of entry.placements.values()) {
-        if (tracked.report === 'included' || tracked.placedAt > takenAt) continue;
+        if (tracked.report === 'included' || tracked.placedAt > sampledAt) continue;
         updateSums(entry.load, 'not-included', -1, -getSize(tracked));
         tracked.report = 'included';
         updateSums(entry.load, 'included', 1, getSize(tracked));
       }
-      if (takenAt >= entry.refusedAt) entry.load.requestsAtRefusal = 0;
-      entry.ended = entry.ended.filter((item) => item.endedAt > takenAt);
+      if (sampledAt >= entry.refusedAt) entry.load.requestsAtRefusal = 0;
+      entry.ended = entry.ended.filter((item) => item.endedAt > sampledAt);
       entry.load.endedCount = entry.ended.length;
       entry.load.endedTokens = entry.ended.reduce((sum, item) => sum + item.tokens, 0);
     },
--- a/packages/decisions/placement/types.ts
+++ b/packages/decisions/placement/types.ts
@@ -75,7 +75,7 @@
 /** Whether the endpoint's last load report includes a placement. */
 export type ReportState = 'included' | 'not-included';
 
-/** A request that this daemon placed and that is still in flight. */
+/** An in-flight request that this daemon placed. */
 export interface LocalPlacement {
   readonly requestId: RequestId;
   readonly endpoint: EndpointId;
@@ -99,9 +99,12 @@
   /** Placements that ended since the last load report, which still includes them. */
   readonly endedCount: number;
   readonly endedTokens: number;
-  /** Lower bound on the endpoint's requests, known from its last refusal for lack of capacity. */
+  /**
+   * Lower bound on the endpoint's requests, known from its last refusal for lack of capacity; 0
+   * without a recent one.
+   */
   readonly requestsAtRefusal: number;
-  /** Predicted change of memory use by the placements in flight. */
+  /** Predicted change of memory use by the in-flight placements. */
   readonly change: MemoryChange;
 }
 
