Clarify the comments of the length estimates

"The same for a class" left the reader to find what it repeated, and the bucket ratio was hard to parse; both are spelled out. "Cut off" generations are interrupted, and the share of a bucket that an observation passed is named so.

--- a/packages/decisions/survival/constants.ts
+++ b/packages/decisions/survival/constants.ts
@@ -1,16 +1,23 @@
 /** Longest tracked output; a longer generation counts as one of this length. */
 export const MAX_TOKENS = 131_072;
 
-/** Width of the first bucket; answers this short need no finer estimate. */
+/** Width of the first bucket; shorter answers need no finer estimate. */
 export const FIRST_BUCKET_TOKENS = 8;
 
-/** Buckets per doubling of the length; hazard is constant within a bucket, a factor of 1.41. */
+/**
+ * Buckets per doubling of the length: a bucket spans a factor of 1.41, within which the hazard is
+ * constant.
+ */
 export const BUCKETS_PER_DOUBLING = 2;
 
 /** Number of generations of a key after which the weight of an observation has decayed to 1/e. */
 export const KEY_DECAY_OBSERVATIONS = 500;
 
-/** The same for a class, which sees more generations and must not be dominated by one customer. */
+/**
+ * Number of generations of a class after which the weight of an observation has decayed to 1/e. It
+ * is higher than for a key, since a class has more generations and must not be dominated by one
+ * customer.
+ */
 export const CLASS_DECAY_OBSERVATIONS = 2_000;
 
 /** Observed generations of a key per bucket that weigh as much as the class's estimate. */
--- a/packages/decisions/survival/forecast.ts
+++ b/packages/decisions/survival/forecast.ts
@@ -82,7 +82,7 @@
  * @param change - sums, updated in place
  * @param curve - hazard curve of the sequence's key
  * @param generated - tokens generated so far
- * @param size - memory held now, in tokens
+ * @param size - memory in use now, in tokens
  */
 export const applySequence = (
   change: MemoryChange,
@@ -96,7 +96,7 @@
 };
 
 /**
- * Adds a request that holds no memory yet; its prompt occupies memory while it runs.
+ * Adds a request that uses no memory yet; its prompt occupies memory while it runs.
  *
  * @param change - sums, updated in place
  * @param curve - hazard curve of the sequence's key
--- a/packages/decisions/survival/hazard.ts
+++ b/packages/decisions/survival/hazard.ts
@@ -98,10 +98,10 @@
   const last = findBucket(length);
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
     const inside = (length - (BUCKET_STARTS[bucket] ?? 0)) / (BUCKET_WIDTHS[bucket] ?? 1);
-    const seen = Math.min(Math.max(inside, 0), 1);
+    const passedShare = Math.min(Math.max(inside, 0), 1);
     const isEnd = bucket === last && end === 'finished';
     counts.ends[bucket] = (counts.ends[bucket] ?? 0) * decay + (isEnd ? 1 : 0);
-    counts.entered[bucket] = (counts.entered[bucket] ?? 0) * decay + (isEnd ? 1 : seen);
+    counts.entered[bucket] = (counts.entered[bucket] ?? 0) * decay + (isEnd ? 1 : passedShare);
   }
 };
 
--- a/packages/decisions/survival/survival.test.ts
+++ b/packages/decisions/survival/survival.test.ts
@@ -76,8 +76,8 @@
   const table = createSurvivalTable();
   for (let count = 0; count < 6_000; count += 1) {
     const length = sampleLength(random.next(), 600);
-    const cut = sampleLength(random.next(), 1_600);
-    if (cut < length) table.observeCensored(memo, cut);
+    const censoredAt = sampleLength(random.next(), 1_600);
+    if (censoredAt < length) table.observeCensored(memo, censoredAt);
     else table.observeFinished(memo, length);
   }
   const curve = table.getCurve(memo);
@@ -123,8 +123,8 @@
     }
   }
   t.is(table.countKeys(), 10);
-  const kept = table.estimateRemaining(memo, 0).mean;
+  const trackedMean = table.estimateRemaining(memo, 0).mean;
   table.observeFinished({ ...memo, customer: 'last' }, 4_000);
   t.is(table.countKeys(), 10);
-  t.true(table.estimateRemaining(memo, 0).mean > 5 * kept);
+  t.true(table.estimateRemaining(memo, 0).mean > 5 * trackedMean);
 });
--- a/packages/decisions/survival/survivalTable.ts
+++ b/packages/decisions/survival/survivalTable.ts
@@ -30,7 +30,7 @@
 export interface SurvivalTable extends SurvivalView {
   /** Records the length of a finished generation. */
   readonly observeFinished: (key: SurvivalKey, tokens: number) => void;
-  /** Records that a generation was cancelled or cut off after `tokens` tokens. */
+  /** Records that a generation was cancelled or interrupted after `tokens` tokens. */
   readonly observeCensored: (key: SurvivalKey, tokens: number) => void;
   readonly countKeys: () => number;
 }
