Reword admission refusals and settings comments

"The engine must confirm its latest sequences" did not say that a limit is reached; the refusal names the limit of unconfirmed sequences, and the other one the engine's identity. Comments on the gap cap, the accepted gap and the load page say what they refer to.

--- a/packages/decisions/admission/constants.ts
+++ b/packages/decisions/admission/constants.ts
@@ -24,9 +24,9 @@
 };
 
 /**
- * Settings for a plain service: calls hold no memory, completions are the evidence for growth, and
- * call latency replaces the token gap. The gap factors are higher because latencies vary more
- * between calls than token gaps do.
+ * Settings for a plain service: calls use no engine memory, completions are the evidence for
+ * growth, and call latency replaces the token gap. The gap factors are higher because latencies
+ * vary more between calls than token gaps do.
  */
 export const SERVICE_ADMISSION_SETTINGS: AdmissionSettings = {
   ...DEFAULT_ADMISSION_SETTINGS,
@@ -40,7 +40,10 @@
 /** Weight of the newest report in the exponential moving average of token gaps. */
 export const GAP_WEIGHT = 0.1;
 
-/** Cap on a single gap in the moving average, as a multiple of the gap of a cold engine. */
+/**
+ * Cap on a single gap in the moving average, as a multiple of the gap above which the engine's
+ * cache is considered cold.
+ */
 export const MAX_GAP_FACTOR = 1.25;
 
 /** Minimum number of gap reports before the moving average sets a baseline. */
--- a/packages/decisions/admission/decideAdmit.ts
+++ b/packages/decisions/admission/decideAdmit.ts
@@ -34,8 +34,8 @@
 
 /**
  * Returns the memory that the admitted sequences need, in tokens. The load page includes neither
- * prompts that arrived since nor sequences that the engine preempted, which reclaim their memory
- * before new sequences start.
+ * prompts that arrived after it was read nor sequences that the engine preempted, which reclaim
+ * their memory before new sequences start.
  */
 const countNeededTokens = (state: AdmissionState): number => {
   let admitted = 0;
@@ -135,7 +135,7 @@
   const { settings, survival } = context;
   const { totalTokens } = state.memory;
   const limit = getLimit(state);
-  if (limit === 0) return buildRefusal('the engine is not confirmed', MIN_RETRY_AFTER_MS);
+  if (limit === 0) return buildRefusal('the engine identity is not confirmed', MIN_RETRY_AFTER_MS);
   if (totalTokens > 0 && request.promptTokens >= totalTokens) {
     const message = `the prompt needs more than the engine's ${totalTokens.toString()} tokens`;
     return { kind: 'refuse', failure: createFailure('not-run', 'too-large', message) };
@@ -145,7 +145,7 @@
     return buildRefusal(message, estimateRetryAfter(state, survival));
   }
   if (countUnconfirmed(state) >= settings.maxUnconfirmed) {
-    return buildRefusal('the engine must confirm its latest sequences', MIN_RETRY_AFTER_MS);
+    return buildRefusal('the limit of unconfirmed sequences is reached', MIN_RETRY_AFTER_MS);
   }
   return hasMemory(state, request, context)
     ? { kind: 'admit' }
--- a/packages/decisions/admission/types.ts
+++ b/packages/decisions/admission/types.ts
@@ -4,7 +4,7 @@
 import type { ClassTargets } from '../placement/types.js';
 import type { SurvivalView } from '../survival/types.js';
 
-/** Identity of one start of an engine, shown on its load page; a new one means a cold engine. */
+/** Identifies one start of an engine on its load page; a new identity means a cold engine. */
 export type EngineIdentity = string;
 
 /** Why a limit changed. */
@@ -78,7 +78,7 @@
   readonly running: ReadonlyMap<RequestId, RunningSequence>;
   readonly memory: EngineMemory;
   readonly gaps: TokenGaps;
-  /** Units of evidence, collected near the limit since it last changed. */
+  /** Units of evidence for a higher limit, collected near the limit since it last changed. */
   readonly evidence: number;
   readonly changedAt: Millis;
 }
@@ -91,7 +91,7 @@
       readonly memory: EngineMemory;
       /** Tokens generated so far by the sequences in the daemon's buffers. */
       readonly generated: ReadonlyMap<RequestId, number>;
-      /** When the page was requested; it confirms the sequences admitted before. */
+      /** Instant of the page's request; the page confirms the sequences admitted before it. */
       readonly requestedAt: Millis;
       readonly now: Millis;
     }
@@ -147,7 +147,7 @@
   readonly collapseFactor: number;
   /** Mean gap above which the engine's cache is considered cold, as a multiple of the baseline. */
   readonly coldFactor: number;
-  /** Gap that operators accept; up to it, the limit grows even above `nearBaselineFactor`. */
+  /** Mean gap that operators accept: the limit grows up to it, even above `nearBaselineFactor`. */
   readonly acceptedGapMs: Millis;
   /** Time after a change during which the limit is not decreased, since gaps lag behind it. */
   readonly settleMs: Millis;
