Reword the queue's limits and its deadline refusal

"Limit of the waiting requests" reads as a maximum number, "had room in time" as "had capacity before the deadline", and the retry delay is no longer called advice.

--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -198,7 +198,7 @@
     (current, request) => removeWaiting(current, request, removeFromLane),
     state,
   );
-  const message = 'no endpoint had room in time for the deadline';
+  const message = 'no endpoint had capacity before the deadline';
   return toStep(
     next,
     ...expired.map((request) => buildRefusal(request, 'deadline-exceeded', message)),
--- a/packages/decisions/fairness/types.ts
+++ b/packages/decisions/fairness/types.ts
@@ -41,13 +41,13 @@
   readonly customers: ReadonlyMap<CustomerId, CustomerQueue>;
 }
 
-/** Bounds of the queue and the advice to refused callers. */
+/** Bounds of the queue, and the retry delay sent to refused callers. */
 export interface QueueSettings {
-  /** Limit of the waiting requests of all classes. */
+  /** Maximum number of waiting requests of all classes. */
   readonly maxWaiting: number;
-  /** Limit of the waiting requests of one class. */
+  /** Maximum number of waiting requests of one class. */
   readonly maxWaitingPerClass: number;
-  /** Delay after which refused callers are advised to retry. */
+  /** Delay after which refused callers should retry. */
   readonly retryAfterMs: Millis;
 }
 
