Reword the limits, budget and health of forwarding

"Limit of" and "kept" now read as maximum numbers and retention. The retry budget is consumed by shares, the memory bound of backups is a maximum, and test locals say what they hold.

--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -1,7 +1,7 @@
-/** Buckets that the sliding window of the retry budget is divided into. */
+/** Number of buckets in the sliding window of the retry budget. */
 export const BUDGET_BUCKETS = 20;
 
-/** Share of the retry budget that is spent; the rest covers peers that were not counted. */
+/** Share of the retry budget that may be used; the rest covers peers missing from the count. */
 export const BUDGET_UTILIZATION = 0.8;
 
 /** Timeout for connecting to an endpoint. */
@@ -16,10 +16,10 @@
 /** Number of different endpoints that have to crash on a request before it is refused. */
 export const CRASH_REFUSAL_THRESHOLD = 3;
 
-/** Time after the last crash for which the crashes of a request are kept. */
+/** Time after the last crash during which the crashes of a request are retained. */
 export const CRASH_RETENTION_MS = 120_000;
 
-/** Limit of the requests whose crashes are kept; above it the oldest is evicted. */
+/** Maximum number of requests whose crashes are retained; the oldest is evicted above it. */
 export const MAX_CRASH_RECORDS = 2_000;
 
 /** Back-off for an endpoint after a failed connection attempt. */
--- a/packages/decisions/forwarding/crashSuspicion.test.ts
+++ b/packages/decisions/forwarding/crashSuspicion.test.ts
@@ -3,7 +3,7 @@
 import { checkCrashes, createCrashTable, recordCrash } from './crashTable.js';
 
 // Guards against a request that crashes one endpoint after the other.
-test('a request that crashed three endpoints is refused for a while', (t) => {
+test('a request that crashed three endpoints is refused until its crash record expires', (t) => {
   const table = createCrashTable();
   recordCrash(table, 'f', 'e-1', 0);
   recordCrash(table, 'f', 'e-2', 1);
--- a/packages/decisions/forwarding/endpointHealth.ts
+++ b/packages/decisions/forwarding/endpointHealth.ts
@@ -7,7 +7,7 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 
-/** What the end of an attempt shows about the health of its endpoint. */
+/** Outcome of an attempt, as far as it affects the health of its endpoint. */
 export type AttemptObservation =
   | { readonly kind: 'answered'; readonly durationMs: Millis }
   /** The endpoint refused the request for lack of capacity. */
--- a/packages/decisions/forwarding/eventSplitter.test.ts
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -29,8 +29,8 @@
     (events, partial, sizes) => {
       const whole = Buffer.from(events.join('') + partial);
       const chunks: Uint8Array[] = [];
-      for (let at = 0, turn = 0; at < whole.length; turn += 1) {
-        const size = sizes[turn % sizes.length] as number;
+      for (let at = 0, index = 0; at < whole.length; index += 1) {
+        const size = sizes[index % sizes.length] as number;
         chunks.push(whole.subarray(at, at + size));
         at += size;
       }
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -50,7 +50,7 @@
  * Splits the bytes of an event stream into events at the blank lines, so that an event that an
  * endpoint sent only in part is never forwarded.
  *
- * @param state - incomplete event from the chunks before
+ * @param state - incomplete event from earlier chunks
  * @param chunk - received bytes
  * @returns the complete events and the incomplete one
  */
--- a/packages/decisions/forwarding/placeAttempt.ts
+++ b/packages/decisions/forwarding/placeAttempt.ts
@@ -53,7 +53,7 @@
 /** Cost of prompt tokens that wait to be processed, relative to memory in use. */
 const WAITING_TOKEN_COST = 3;
 
-/** Share of an engine's memory that may be in use with a new backup of the shortest generations. */
+/** Maximum share of an engine's memory in use including a new backup, for short generations. */
 const MIN_BACKUP_MEMORY_SHARE = 0.35;
 
 /** Addition to `MIN_BACKUP_MEMORY_SHARE` for a generation of `LONG_OUTPUT_TOKENS` or more. */
@@ -192,11 +192,11 @@
   candidates: readonly Candidate[],
   criteria: PlacementCriteria,
   runner: EndpointRecord,
-  memoryShare: number,
+  maxMemoryShare: number,
 ): readonly Candidate[] => {
   const { demand, service } = criteria;
   if (service.engine === null || demand === null) return [];
-  const maxUsedTokens = service.engine.memoryTokens * memoryShare - demand.promptTokens;
+  const maxUsedTokens = service.engine.memoryTokens * maxMemoryShare - demand.promptTokens;
   return candidates.filter(
     (candidate) =>
       isUsable(candidate, criteria) &&
@@ -221,8 +221,9 @@
 };
 
 /**
- * Chooses the endpoint that keeps a backup of a running generation: one with enough free memory, in
- * another data centre if possible, so that the loss of one data centre does not lose both copies.
+ * Chooses the endpoint that stores a backup of a running generation: one with enough free memory,
+ * in another data centre if possible, so that the loss of one data centre does not lose both
+ * copies.
  *
  * @param candidates - endpoints of the service
  * @param criteria - requirements of the generation
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -1,7 +1,7 @@
 import { BUDGET_BUCKETS, BUDGET_UTILIZATION } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
-/** Limit of the retries of one service that all daemons share. */
+/** Limit on the retries of one service, shared by all daemons. */
 export interface RetryBudgetSettings {
   /** Retries allowed for each request. */
   readonly ratio: number;
@@ -57,14 +57,14 @@
 };
 
 /**
- * Takes one retry from this daemon's part of the budget; a hedge counts as a retry. The fixed slack
- * is divided by the number of daemons, since no daemon sees the retries of the others in time.
+ * Consumes one retry of this daemon's share of the budget; a hedge counts as a retry. The fixed
+ * slack is divided by the number of daemons, since no daemon sees the retries of the others in time.
  *
  * @param window - window of the service
  * @param settings - limits of the budget
  * @param daemons - number of daemons that share the slack
  * @param now - current instant
- * @returns `taken`, or `spent` when this daemon's part is used up
+ * @returns `taken`, or `spent` when this daemon's share is used up
  */
 export const takeRetry = (
   window: BudgetWindow,
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -32,7 +32,7 @@
   readonly targetMs: Millis;
   /** Target for the longest gap between two events of a stream; null without one. */
   readonly gapTargetMs: Millis | null;
-  /** Number of endpoints at which one request may run. */
+  /** Maximum number of endpoints at which one request may run. */
   readonly maxEndpoints: number;
   /** Priority of the requests; 0 is the most urgent. */
   readonly rank: number;
@@ -57,16 +57,16 @@
   readonly name: ServiceName;
   readonly healthPath: string;
   readonly maxConnections: number;
-  /** Limit of the requests per second to a cold endpoint; 0 means no limit. */
+  /** Maximum number of requests per second to a cold endpoint; 0 means no limit. */
   readonly coldPerSecond: number;
   readonly engine: EngineTraits | null;
 }
 
-/** A customer and the API keys of its requests. */
+/** A customer and the API keys that identify its requests. */
 export interface Customer {
   readonly name: CustomerId;
   readonly keys: readonly string[];
-  /** Priority that overrides the one of the route; null without one. */
+  /** Priority that overrides that of the route; null without one. */
   readonly rank: number | null;
 }
 
@@ -108,7 +108,7 @@
   readonly startedAt: Millis | null;
 }
 
-/** Resources that a generation needs of an engine. */
+/** Resources that a generation needs on an engine. */
 export interface GenerationDemand {
   readonly model: string;
   readonly promptTokens: number;
