Describe missing heartbeats in place of silence

Time limits of membership are times without a heartbeat, and an unlisted endpoint is removed instead of forgotten (REMOVE_AFTER_MS). The phases say that missing heartbeats cause them.

--- a/packages/decisions/membership/constants.ts
+++ b/packages/decisions/membership/constants.ts
@@ -1,28 +1,31 @@
 /** Interval between two heartbeats of an endpoint daemon. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
-/** Silence after which an endpoint receives no new work: three lost or late heartbeats. */
+/**
+ * Time without a heartbeat after which an endpoint is suspect and receives no new work: three lost
+ * or late heartbeats.
+ */
 export const SUSPECT_AFTER_MS = 1_500;
 
-/** Silence after which an endpoint is gone and its work in flight counts as lost. */
+/** Time without a heartbeat after which an endpoint is gone and its in-flight work is lost. */
 export const GONE_AFTER_MS = 5_000;
 
 /**
- * Silence after which an unlisted endpoint is removed. Until then its entry is kept, so that late
- * heartbeats of older incarnations are ignored.
+ * Time without a heartbeat after which an unlisted endpoint is removed. Until then its entry
+ * remains, so that late heartbeats of older incarnations are ignored.
  */
-export const FORGET_AFTER_MS = 600_000;
+export const REMOVE_AFTER_MS = 600_000;
 
 /**
- * Time after a pause of this process during which heartbeats may come from a socket buffer and say
- * nothing about the present state of an endpoint.
+ * Time after a pause of this process during which heartbeats may come from a socket buffer and do
+ * not show the current state of an endpoint.
  */
 export const BACKLOG_AFTER_PAUSE_MS = 500;
 
-/** Duration of the lease that an acknowledged heartbeat grants, counted from its sending. */
+/** Duration of the lease that an acknowledged heartbeat grants, from the instant of sending. */
 export const LEASE_MS = 2_000;
 
-/** Maximum number of sent heartbeats that are kept; covers one lease with a margin. */
+/** Maximum number of sent heartbeats that are recorded; covers one lease with a margin. */
 export const MAX_SENT_HEARTBEATS = 8;
 
 /**
--- a/packages/decisions/membership/membership.test.ts
+++ b/packages/decisions/membership/membership.test.ts
@@ -19,8 +19,8 @@
   t.pass();
 });
 
-// Guards against work for an endpoint that became suspect between two ticks, and against a silent
-// endpoint that never becomes gone.
+// Guards against work for an endpoint that became suspect between two ticks, and against an
+// endpoint without heartbeats that never becomes gone.
 test('silence makes an endpoint suspect after 1.5 s and gone after 5 s', (t) => {
   const state = run(buildHeartbeat('i1', 1, 'serving', 0));
   t.is(checkEligibility(state, 'e', 1_499), 'eligible');
@@ -48,9 +48,9 @@
 // eligible nor remove one that sends heartbeats.
 test('the list adds endpoints and marks leaving ones; heartbeats determine their phase', (t) => {
   const listed = { endpoint: 'e', dataCentre: 'd', state: 'live' } as const;
-  const proposed = run({ kind: 'instance-list', instances: [listed], now: 0 });
-  t.is(checkEligibility(proposed, 'e', 0), 'starting');
-  const serving = decideMembership(proposed, buildHeartbeat('i1', 1, 'serving', 100)).state;
+  const listedOnly = run({ kind: 'instance-list', instances: [listed], now: 0 });
+  t.is(checkEligibility(listedOnly, 'e', 0), 'starting');
+  const serving = decideMembership(listedOnly, buildHeartbeat('i1', 1, 'serving', 100)).state;
   const list = (
     instances: readonly (typeof listed | { endpoint: 'e'; dataCentre: 'd'; state: 'leaving' })[],
   ) => decideMembership(serving, { kind: 'instance-list', instances, now: 200 }).state;
@@ -58,8 +58,8 @@
   t.is(checkEligibility(list([{ ...listed, state: 'leaving' }]), 'e', 200), 'draining');
   const out = { kind: 'configuration', dataCentresOut: ['d'], offset: 5 } as const;
   const older = { kind: 'configuration', dataCentresOut: [], offset: 4 } as const;
-  const taken = run(buildHeartbeat('i1', 1, 'serving', 0), out, older);
-  t.is(checkEligibility(taken, 'e', 0), 'data-centre-out');
+  const dataCentreOut = run(buildHeartbeat('i1', 1, 'serving', 0), out, older);
+  t.is(checkEligibility(dataCentreOut, 'e', 0), 'data-centre-out');
 });
 
 const runLease = (...events: readonly LeaseEvent[]) =>
@@ -99,8 +99,8 @@
     const before = chooseHeartbeatTargets(endpoint, instances, 3, hashText);
     const [removed, ...rest] = instances;
     const after = chooseHeartbeatTargets(endpoint, rest.reverse(), 3, hashText);
-    const kept = before.filter((instance) => instance !== removed);
-    return after.length === 3 && kept.every((instance) => after.includes(instance));
+    const remaining = before.filter((instance) => instance !== removed);
+    return after.length === 3 && remaining.every((instance) => after.includes(instance));
   });
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   t.pass();
--- a/packages/decisions/membership/membership.ts
+++ b/packages/decisions/membership/membership.ts
@@ -1,6 +1,6 @@
 import {
   BACKLOG_AFTER_PAUSE_MS,
-  FORGET_AFTER_MS,
+  REMOVE_AFTER_MS,
   GONE_AFTER_MS,
   SUSPECT_AFTER_MS,
 } from './constants.js';
@@ -35,10 +35,10 @@
 });
 
 const resolvePhase = <Report>(entry: EndpointEntry<Report>, now: Millis): EndpointPhase => {
-  const silence = now - entry.lastSeenAt;
-  if (silence >= GONE_AFTER_MS) return 'gone';
+  const silenceMs = now - entry.lastSeenAt;
+  if (silenceMs >= GONE_AFTER_MS) return 'gone';
   if (entry.newest === null) return 'starting';
-  if (silence >= SUSPECT_AFTER_MS) return 'suspect';
+  if (silenceMs >= SUSPECT_AFTER_MS) return 'suspect';
   return entry.listed === 'leaving' ? 'draining' : entry.newest.phase;
 };
 
@@ -144,7 +144,7 @@
 ): MembershipStep<Report> => {
   const effects: MembershipEffect[] = [];
   for (const entry of state.endpoints.values()) {
-    const isExpired = entry.listed === 'unlisted' && now - entry.lastSeenAt >= FORGET_AFTER_MS;
+    const isExpired = entry.listed === 'unlisted' && now - entry.lastSeenAt >= REMOVE_AFTER_MS;
     if (isExpired) effects.push(...removeEntry(state, entry));
     else effects.push(...updateEntry(state, entry, resolveSilentPhase(entry, now)));
   }
@@ -195,8 +195,9 @@
 };
 
 /**
- * Checks whether an endpoint may receive new work. The silence is computed for the given instant,
- * so a suspect endpoint receives no work when a tick is late.
+ * Checks whether an endpoint may receive new work. The time since its last heartbeat is computed
+ * for the given instant, so that an endpoint that became suspect receives no work when a tick is
+ * late.
  *
  * @param state - membership
  * @param endpoint - endpoint to check
--- a/packages/decisions/membership/types.ts
+++ b/packages/decisions/membership/types.ts
@@ -4,7 +4,7 @@
 /** Phase that an endpoint daemon reports in its heartbeats. */
 export type ReportedPhase = 'starting' | 'ramping' | 'serving' | 'draining';
 
-/** Phase of an endpoint from the view of an entry daemon; silence adds `suspect` and `gone`. */
+/** Phase of an endpoint at an entry daemon: `suspect` and `gone` result from missing heartbeats. */
 export type EndpointPhase = ReportedPhase | 'suspect' | 'gone';
 
 /** State of an endpoint in the instance list. */
@@ -73,7 +73,7 @@
   | { readonly kind: 'own-pause'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
-/** Output of a membership decision, for the other children of the entry daemon. */
+/** Output of a membership decision, for the other children of the entry daemon's supervisor. */
 export type MembershipEffect =
   | {
       readonly kind: 'phase-changed';
