Reword buffering, outages and disconnects of streams

Handlers and test locals name the event that they handle, and the fixture's "cross" is "misdeliver", its "take" "acknowledge".

--- a/packages/decisions/streams/buffer.test.ts
+++ b/packages/decisions/streams/buffer.test.ts
@@ -92,8 +92,8 @@
 // Guards against a resume that silently skips chunks, and against a slow caller that exhausts the
 // memory.
 test('a resume at a dropped chunk is refused, and a slow reader pauses the engine, then loses the stream', (t) => {
-  const took = { kind: 'reader-took', ...toReader('a'), nextNumber: 5, now: 0 } as const;
-  const paused = run(open('a'), buildProduced(5), took, buildProduced(8));
+  const acknowledged = { kind: 'reader-took', ...toReader('a'), nextNumber: 5, now: 0 } as const;
+  const paused = run(open('a'), buildProduced(5), acknowledged, buildProduced(8));
   t.deepEqual(paused.effects.at(-1), { kind: 'pause-engine' });
   const slow = decideBuffer(paused.state, { kind: 'tick', now: 15_000 });
   t.like(slow.effects[0], { kind: 'send-failed', failure: { code: 'stream-lost' } });
@@ -101,9 +101,9 @@
   const full = run(
     open('a'),
     buildProduced(5),
-    took,
+    acknowledged,
     buildProduced(5),
-    { ...took, nextNumber: 10 },
+    { ...acknowledged, nextNumber: 10 },
     buildProduced(7),
   );
   t.like(decideBuffer(full.state, open('a', 0, 1)).effects[0], {
--- a/packages/decisions/streams/buffer.ts
+++ b/packages/decisions/streams/buffer.ts
@@ -108,9 +108,9 @@
 const computeUnreadShare = (state: BufferState): number => {
   const { ring, limits } = state;
   const needed = getFirstNeeded(state);
-  const kept = ring.getNext() - ring.getFirst();
+  const buffered = ring.getNext() - ring.getFirst();
   const unread = ring.getNext() - needed;
-  const unreadBytes = kept === 0 ? 0 : (ring.getBytes() * unread) / kept;
+  const unreadBytes = buffered === 0 ? 0 : (ring.getBytes() * unread) / buffered;
   return Math.max(unread / limits.maxChunks, unreadBytes / limits.maxBytes);
 };
 
@@ -184,7 +184,7 @@
   }
   if (event.fromNumber < ring.getFirst()) {
     const first = ring.getFirst().toString();
-    const message = `chunk ${event.fromNumber.toString()} is no longer kept; the first is ${first}`;
+    const message = `chunk ${event.fromNumber.toString()} is no longer buffered; the first is ${first}`;
     return refuseReader(event, 'stream-lost', message);
   }
   if (event.fromNumber > ring.getNext()) {
@@ -281,7 +281,7 @@
 /**
  * Handles one event of a generation's buffer. Chunks keep their numbers, the newest reader receives
  * them in order from the number that it requested, and a generation without a reader is cancelled
- * unless its limits keep it.
+ * unless `limits.orphans` is `kept`.
  *
  * @param state - buffer before the event; its ring is updated in place
  * @param event - event of the engine, a reader or the clock
--- a/packages/decisions/streams/bufferProperty.fixture.ts
+++ b/packages/decisions/streams/bufferProperty.fixture.ts
@@ -24,7 +24,7 @@
   {
     weight: 5,
     arbitrary: fc.record({
-      kind: fc.constant('take' as const),
+      kind: fc.constant('acknowledge' as const),
       identity: anyReader,
       to: fc.nat(40),
     }),
@@ -93,7 +93,7 @@
           if (before !== undefined && isOpen) next.set(key, state.reader?.sent ?? 0);
           break;
         }
-        case 'take':
+        case 'acknowledge':
           apply({ kind: 'reader-took', ...command.identity, nextNumber: command.to, now });
           break;
         case 'close':
--- a/packages/decisions/streams/bufferTypes.ts
+++ b/packages/decisions/streams/bufferTypes.ts
@@ -36,8 +36,8 @@
   readonly maxBytes: number;
   readonly windowChunks: number;
   /**
-   * Whether a generation without a reader is cancelled. A `kept` one runs to its end and does not
-   * pause the engine, because its caller may request the answer by its key.
+   * Whether a generation without a reader is cancelled. With `kept` it runs to its end and
+   * does not pause the engine, because its caller may request the answer by its idempotency key.
    */
   readonly orphans: 'cancelled' | 'kept';
 }
@@ -66,6 +66,7 @@
       readonly fromNumber: number;
       readonly now: Millis;
     } & ReaderIdentity)
+  /** The reader acknowledged all chunks before `nextNumber`. */
   | ({
       readonly kind: 'reader-took';
       readonly nextNumber: number;
--- a/packages/decisions/streams/chunkRing.ts
+++ b/packages/decisions/streams/chunkRing.ts
@@ -15,11 +15,11 @@
   readonly prune: (belowNumber: number, maxChunks: number, maxBytes: number) => void;
   /** Drops all chunks; the numbering continues. */
   readonly clear: () => void;
-  /** Returns the number of the oldest chunk that is kept. */
+  /** Returns the number of the oldest buffered chunk. */
   readonly getFirst: () => number;
   /** Returns the number of the next chunk to be appended. */
   readonly getNext: () => number;
-  /** Returns the total length of the kept chunks. */
+  /** Returns the total length of the buffered chunks. */
   readonly getBytes: () => number;
 }
 
--- a/packages/decisions/streams/delivery.test.ts
+++ b/packages/decisions/streams/delivery.test.ts
@@ -42,8 +42,8 @@
 
 // Guards against an answer that combines chunks of two generations.
 test('a generation that is lost after its first chunk was written fails as stream-lost', (t) => {
-  const gone = { kind: 'endpoint-gone', endpoint: 'e1', incarnation: 'i1' } as const;
-  const written = run('incremental', buildChunks(0, 'a'), gone);
+  const endpointGone = { kind: 'endpoint-gone', endpoint: 'e1', incarnation: 'i1' } as const;
+  const written = run('incremental', buildChunks(0, 'a'), endpointGone);
   t.like(written.effects[1], {
     kind: 'fail',
     failure: { code: 'stream-lost', verdict: 'may-have-run' },
@@ -53,7 +53,7 @@
     source: { ...source, generationId: 'g2' },
   });
   t.deepEqual(listKinds(second), ['cancel-generation']);
-  const whole = run('whole', buildChunks(0, 'a'), gone);
+  const whole = run('whole', buildChunks(0, 'a'), endpointGone);
   t.deepEqual(listKinds(whole), ['cancel-generation', 'restart-allowed']);
 });
 
@@ -78,10 +78,10 @@
 
 // Guards against cancelling a resumable generation because its caller disconnected.
 test('a caller that disconnects detaches from a stream it can resume and cancels any other', (t) => {
-  const gone = { kind: 'caller-gone' } as const;
-  t.deepEqual(listKinds(run('incremental', buildChunks(0, 'a'), gone)), ['detach']);
-  t.deepEqual(listKinds(run('incremental', gone)), ['cancel-generation']);
-  t.deepEqual(listKinds(run('whole', buildChunks(0, 'a'), gone)), ['cancel-generation']);
+  const disconnect = { kind: 'caller-gone' } as const;
+  t.deepEqual(listKinds(run('incremental', buildChunks(0, 'a'), disconnect)), ['detach']);
+  t.deepEqual(listKinds(run('incremental', disconnect)), ['cancel-generation']);
+  t.deepEqual(listKinds(run('whole', buildChunks(0, 'a'), disconnect)), ['cancel-generation']);
   const resumed = resumeDelivery(source, 3);
-  t.deepEqual(listKinds(decideDelivery(resumed.state, gone)), ['detach']);
+  t.deepEqual(listKinds(decideDelivery(resumed.state, disconnect)), ['detach']);
 });
--- a/packages/decisions/streams/delivery.ts
+++ b/packages/decisions/streams/delivery.ts
@@ -114,9 +114,9 @@
 };
 
 /**
- * `lost-race` means that the caller resumed at another entry daemon, or that an older open arrived
- * late. The stream ends with a ticket in both cases: a caller that is still connected here resumes
- * the generation with it.
+ * `lost-race` means that the caller resumed at another entry daemon, or that the request of an
+ * older link arrived late. The stream ends with a ticket in both cases: a caller that is still
+ * connected here resumes the generation with it.
  */
 const failLink = (state: AttachedState, failure: Failure): DeliveryStep =>
   failure.code === 'lost-race' && state.delivery === 'incremental'
@@ -200,14 +200,14 @@
   return closeWith(ended, ...writes, { kind: 'finish', chunkCount, usage });
 };
 
-const handleGaveUp = (state: DeliveryState, failure: Failure): DeliveryStep => {
+const handleAttemptsEnded = (state: DeliveryState, failure: Failure): DeliveryStep => {
   if (state.phase !== 'idle') return toStep(state);
   const verdict = mergeVerdicts(state.verdict, failure.verdict);
   return closeWith(state, { kind: 'fail', failure: { ...failure, verdict } });
 };
 
 /** Detaches a stream that its ticket can resume; any other has no reader left and is cancelled. */
-const handleCallerGone = (state: DeliveryState): DeliveryStep => {
+const handleCallerDisconnect = (state: DeliveryState): DeliveryStep => {
   if (!isAttached(state)) return closeWith(state);
   const kind = isRestartable(state) ? 'cancel-generation' : 'detach';
   return closeWith(state, { kind, source: state.source });
@@ -273,11 +273,11 @@
     case 'endpoint-gone':
       return handleEndpointGone(state, event);
     case 'gave-up':
-      return handleGaveUp(state, event.failure);
+      return handleAttemptsEnded(state, event.failure);
     case 'drain-ended':
       return handleDrainEnd(state);
     case 'caller-gone':
-      return handleCallerGone(state);
+      return handleCallerDisconnect(state);
     default:
       return assertNever(event);
   }
--- a/packages/decisions/streams/faultyStreams.fixture.ts
+++ b/packages/decisions/streams/faultyStreams.fixture.ts
@@ -14,7 +14,7 @@
 import type { Verdict } from '../../core/verdict.js';
 
 /**
- * Progress or fault of the simulated system. `cross` delivers a message to another caller, and
+ * Progress or fault of the simulated system. `misdeliver` delivers a message to another caller, and
  * `cut` breaks a link. `pick` selects an object modulo their number, or the time for `advance`.
  */
 export interface SimulationAction {
@@ -23,7 +23,7 @@
     | 'deliver'
     | 'drop'
     | 'duplicate'
-    | 'cross'
+    | 'misdeliver'
     | 'advance'
     | 'cut'
     | 'drain-entry'
@@ -316,7 +316,7 @@
       case 'duplicate':
         if (message !== undefined) messages.push(message);
         return;
-      case 'cross':
+      case 'misdeliver':
         if (message?.to === 'caller' && caller !== undefined) stepCaller(caller, message.event);
         return;
       case 'advance':
--- a/packages/decisions/streams/streamProperties.fixture.ts
+++ b/packages/decisions/streams/streamProperties.fixture.ts
@@ -6,7 +6,7 @@
 const anyStreamAction: fc.Arbitrary<SimulationAction> = fc.record({
   kind: fc.constantFrom(
     ...(['produce', 'produce', 'produce', 'deliver', 'deliver', 'deliver', 'deliver'] as const),
-    ...(['drop', 'duplicate', 'cross', 'advance', 'cut'] as const),
+    ...(['drop', 'duplicate', 'misdeliver', 'advance', 'cut'] as const),
     ...(['drain-entry', 'kill-entry', 'kill-endpoint'] as const),
   ),
   pick: fc.nat({ max: 10_000 }),
@@ -18,7 +18,15 @@
 const anyAnswerAction: fc.Arbitrary<SimulationAction> = fc.record({
   kind: fc.constantFrom(
     ...(['produce', 'produce', 'produce', 'deliver', 'deliver', 'deliver', 'drop'] as const),
-    ...(['duplicate', 'cross', 'cross', 'advance', 'cut', 'kill-entry', 'kill-endpoint'] as const),
+    ...([
+      'duplicate',
+      'misdeliver',
+      'misdeliver',
+      'advance',
+      'cut',
+      'kill-entry',
+      'kill-endpoint',
+    ] as const),
   ),
   pick: fc.nat({ max: 10_000 }),
 });
--- a/packages/decisions/streams/types.ts
+++ b/packages/decisions/streams/types.ts
@@ -24,9 +24,11 @@
   readonly earlier: HeldChunks | null;
 }
 
-/** Start of an outage, null once a link opened, and the consecutive resumes without a chunk. */
+/** Outage of a stream, which lasts from a lost or stalled link until the next chunk. */
 export interface LinkOutage {
+  /** Start of the outage; null while a reopened link has not failed again. */
   readonly since: Millis | null;
+  /** Number of consecutive resumes without a chunk. */
   readonly resumes: number;
 }
 
@@ -80,8 +82,10 @@
       readonly endpoint: EndpointId;
       readonly incarnation: Incarnation;
     }
+  /** No further attempt is made. */
   | { readonly kind: 'gave-up'; readonly failure: Failure }
   | { readonly kind: 'drain-ended' }
+  /** The caller disconnected. */
   | { readonly kind: 'caller-gone' };
 
 /** Writes to the caller, requests to an endpoint daemon, and timers. */
--- a/packages/decisions/streams/verdicts.ts
+++ b/packages/decisions/streams/verdicts.ts
@@ -30,7 +30,7 @@
 
 /**
  * Corrects the verdict of a refused resume. The generation of a resume ticket has run, whatever the
- * reason of the refusal, so the caller must not receive `not-run`.
+ * reason for the refusal, so the caller must not receive `not-run`.
  *
  * @param failure - why the resume is refused
  * @returns the failure, with `may-have-run` in place of `not-run`
