--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -205,7 +205,7 @@
   );
 };
 
-const handleTake = (state: QueueState, requestId: RequestId): QueueStep => {
+const handleDequeue = (state: QueueState, requestId: RequestId): QueueStep => {
   const request = findRequest(state, requestId);
   if (request === undefined) return toStep(state);
   return toStep(removeWaiting(state, request, serveFromLane), { kind: 'serve', request });
@@ -236,7 +236,7 @@
     case 'enqueue':
       return handleEnqueue(state, event.request);
     case 'take':
-      return handleTake(state, event.requestId);
+      return handleDequeue(state, event.requestId);
     case 'cancel': {
       const request = findRequest(state, event.requestId);
       return toStep(request === undefined ? state : removeWaiting(state, request, removeFromLane));
