Reword the gateway's events, feeds and transfers

`transfer-turn`, `silence-due` and `reports-due` did not say what becomes due; they are now `transfer-due`, `stall-check-due` and `report-poll-due` and stay inside the process. `continueFromCopy` and `resumeFromCopy` were two words for one thing; both now say resume. "broke off", "cut off", "went silent" and "told" now read incomplete, interrupted, stalled and received the stop signal. The scope of a change event is explained.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -32,15 +32,15 @@
     case 'data-centres-changed':
     case 'attempt-observed':
     case 'removal-due':
-    case 'reports-due':
+    case 'report-poll-due':
     case 'report-due':
     case 'moves-changed':
     case 'deadline-reached':
     case 'placement-due':
     case 'hedge-due':
-    case 'silence-due':
+    case 'stall-check-due':
     case 'endpoint-leaving':
-    case 'transfer-turn':
+    case 'transfer-due':
     case 'report-changed':
     case 'drain-started':
     case 'drain-checked':
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -19,8 +19,8 @@
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
 
 /**
- * Creates the client of the endpoints. Connections are not reused, so that a late or second answer
- * is never taken for the answer to the next request.
+ * Creates the client of the endpoints. Connections are not reused, so that a late or duplicate
+ * answer is never mistaken for the answer to the next request.
  *
  * @param codec - encodes the heads of requests and decodes the heads of answers
  * @param post - receives the events of the attempts
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -46,12 +46,16 @@
   | {
       readonly kind: 'registrations-changed';
       readonly changes: readonly RecordChange[];
+      /** `all`: the changes list every current registration; `changed`: only those that changed. */
       readonly scope: 'all' | 'changed';
       readonly removals: RemovalCertainty;
     }
   | {
       readonly kind: 'data-centres-changed';
       readonly changes: readonly RecordChange[];
+      /**
+       * `all`: the changes list every data centre that is out; `changed`: only those that changed.
+       */
       readonly scope: 'all' | 'changed';
     }
   | {
@@ -59,7 +63,8 @@
       readonly endpoint: EndpointId;
       readonly observation: AttemptObservation;
     }
-  | { readonly kind: 'reports-due' }
+  /** The engines whose registrations may be stale are to be polled for their state. */
+  | { readonly kind: 'report-poll-due' }
   | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
   | { readonly kind: 'removal-due'; readonly id: EndpointId; readonly removedAt: Millis }
 );
@@ -75,6 +80,7 @@
   readonly kind: 'moves-changed';
   readonly orders: readonly MoveOrder[];
   readonly withdrawn: readonly string[];
+  /** `all`: the event lists every current order; `changed`: only those that changed. */
   readonly scope: 'all' | 'changed';
 };
 
@@ -104,14 +110,14 @@
   | { readonly kind: 'deadline-reached'; readonly key: number }
   | { readonly kind: 'placement-due'; readonly key: number }
   | { readonly kind: 'hedge-due'; readonly key: number; readonly attempt: number }
-  | { readonly kind: 'silence-due'; readonly key: number; readonly attempt: number }
+  | { readonly kind: 'stall-check-due'; readonly key: number; readonly attempt: number }
   | {
       readonly kind: 'transfer-ended';
       readonly key: number;
       readonly attempt: number;
       readonly result: TransferResult;
     }
-  | { readonly kind: 'transfer-turn'; readonly source: EndpointId }
+  | { readonly kind: 'transfer-due'; readonly source: EndpointId }
   | { readonly kind: 'endpoint-leaving'; readonly endpoint: EndpointId }
 );
 
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -32,10 +32,10 @@
 export const MAX_PAUSE_SHARE = 0.3;
 
 /**
- * Time for detecting an overdue answer and for the next read, after a long poll on a connection
- * that went silent. The poll and this time together have to fit into `StalenessLimits.outageMs`.
+ * Time after a long poll on a stalled connection in which the overdue answer is detected and the
+ * next read completes. The poll and this time together have to fit into `StalenessLimits.outageMs`.
  */
-export const SILENT_READ_MARGIN_MS = 1_500;
+export const STALLED_READ_MARGIN_MS = 1_500;
 
 /** Pause after a failed read. */
 export const FEED_RETRY_MS = 250;
@@ -48,4 +48,4 @@
  * the store may be unavailable. The endpoints together renew their registrations several times
  * within it.
  */
-export const FEED_SILENCE_MS = 400;
+export const FEED_STALENESS_MARGIN_MS = 400;
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { FEED_SILENCE_MS, REREGISTRATION_GRACE_MS } from './constants.js';
+import { FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
 import { createFeedsLogic, isFeedStale } from './feeds.js';
 import type { PacingInputs } from './feeds.js';
 import type { FeedsState } from './feeds.js';
@@ -90,7 +90,7 @@
     isFeedStale(harness.getState().registrations, harness.clock.now(), buildPacingInputs(4));
   t.true(check());
   harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
-  harness.clock.advance(440 + FEED_SILENCE_MS);
+  harness.clock.advance(440 + FEED_STALENESS_MARGIN_MS);
   t.false(check());
   harness.clock.advance(1);
   t.true(check());
@@ -120,7 +120,7 @@
   t.deepEqual(delays, [350, 440, 600, 600]);
 });
 
-// Guards against a configuration that is applied too late because a connection went silent: that is
+// Guards against a configuration that is applied too late because a connection stalled: that is
 // detected only at the end of a long poll.
 test('long polls of operator records grow with the number of daemons, within limits', (t) => {
   const waits = [1, 4, 400].map((daemons) => {
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,6 +1,6 @@
 import {
   FEED_RETRY_MS,
-  FEED_SILENCE_MS,
+  FEED_STALENESS_MARGIN_MS,
   MIN_OPERATOR_WAIT_MS,
   MIN_REGISTRATIONS_PAUSE_MS,
   OPERATOR_PAUSE_MS,
@@ -8,7 +8,7 @@
   READ_SPACING_MS,
   REGISTRATIONS_WAIT_MS,
   REREGISTRATION_GRACE_MS,
-  SILENT_READ_MARGIN_MS,
+  STALLED_READ_MARGIN_MS,
 } from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -38,6 +38,7 @@
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
 
+/** Whether the changes are the complete content of a feed, or only the records that changed. */
 type Scope = 'all' | 'changed';
 
 export interface FeedsInputs {
@@ -63,8 +64,8 @@
   Math.max(min, Math.min(value, max));
 
 /**
- * Computes the time for which the store may hold a long poll. A connection that went silent is
- * detected only after it.
+ * Computes the time for which the store may hold a long poll. A stalled connection is detected
+ * only after it.
  */
 const computeWait = (feed: FeedName, { daemons, stalenessLimits }: PacingInputs): Millis => {
   switch (feed) {
@@ -72,7 +73,7 @@
       return limitToRange(
         READ_SPACING_MS.operator * daemons,
         MIN_OPERATOR_WAIT_MS,
-        stalenessLimits.outageMs - SILENT_READ_MARGIN_MS,
+        stalenessLimits.outageMs - STALLED_READ_MARGIN_MS,
       );
     case 'registrations':
       return REGISTRATIONS_WAIT_MS;
@@ -115,7 +116,7 @@
 export const isFeedStale = (state: FeedState, now: Millis, pacing: PacingInputs): boolean =>
   state.kind === 'loading' ||
   state.failingSince !== null ||
-  now - state.readAt > computePause('registrations', pacing) + FEED_SILENCE_MS;
+  now - state.readAt > computePause('registrations', pacing) + FEED_STALENESS_MARGIN_MS;
 
 const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
   changes.flatMap((change) =>
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -69,7 +69,7 @@
 
 /**
  * Creates the decision logic of the `frontend` child, which accepts requests and drains the daemon.
- * A draining daemon still handles requests that arrive on kept-alive connections.
+ * A draining daemon still handles requests that arrive on keep-alive connections.
  *
  * @param inputs - clock, grace period and number of open requests
  * @returns the decision logic
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -50,8 +50,8 @@
 const list = (sources: Parameters<typeof listCandidates>[1], now = 1_100) =>
   listCandidates('writer', sources, now);
 
-// Guards against new work in a data centre that operators took out.
-test('endpoints in a data centre that was taken out are not candidates', (t) => {
+// Guards against new work in a data centre that operators took out of service.
+test('endpoints in a data centre that is out of service are not candidates', (t) => {
   const records = [buildEndpoint('e-1'), buildEndpoint('e-2', { dataCentre: 'dc-b' })];
   const ids = list(build(records, ['dc-a'])).map(({ record }) => record.id);
   t.deepEqual(ids, ['e-2']);
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -18,9 +18,9 @@
 
 /**
  * Lists the endpoints of a service for a placement, without those in data centres that operators
- * took out. While there is an order to move a service to another version, the endpoints of that
- * version receive no requests: a bad version cannot be detected in time without evidence from all
- * daemons.
+ * took out of service. While there is an order to move a service to another version, the endpoints
+ * of that version receive no requests: a bad version cannot be detected in time without evidence
+ * from all daemons.
  *
  * @param service - service of the request
  * @param sources - states of membership, peers, requests and moves
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -135,7 +135,7 @@
 test('a polled engine that reports leaving is announced', (t) => {
   const harness = createHarness(['e-1']);
   harness.change([register('e-1')]);
-  const polls = harness.post({ to: 'membership', kind: 'reports-due' });
+  const polls = harness.post({ to: 'membership', kind: 'report-poll-due' });
   t.true(polls.some((effect) => effect.kind === 'read-report' && effect.endpoint === 'e-1'));
   const report = { phase: 'leaving' } as const;
   const effects = harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
@@ -143,9 +143,9 @@
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
 
-// Guards against a data centre that stays out although operators took it back in while the store
-// was unavailable.
-test('a load takes back in the data centres that it does not list as out', (t) => {
+// Guards against a data centre that stays out of service although operators returned it while the
+// store was unavailable.
+test('a load returns data centres to service unless it lists them as out', (t) => {
   const harness = createHarness();
   const out: RecordChange = { kind: 'data-centre-out', dataCentre: 'dc-a' };
   harness.post({
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -30,7 +30,10 @@
   readonly removedAt: Millis | null;
 }
 
-/** Endpoints and data centres. Only the `membership` child updates the collections, in place. */
+/**
+ * Endpoints, and data centres that are out of service. Only the `membership` child updates the
+ * collections, in place.
+ */
 export interface MembershipState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
@@ -70,7 +73,7 @@
 const NEXT_REPORT_POLL: GatewayEffect = {
   kind: 'schedule',
   delayMs: REPORT_POLL_INTERVAL_MS,
-  event: { to: 'membership', kind: 'reports-due' },
+  event: { to: 'membership', kind: 'report-poll-due' },
 };
 
 const describeEndpoint = (record: EndpointRecord, change: string): GatewayEffect => ({
@@ -83,7 +86,10 @@
   },
 });
 
-/** Also notifies the other daemons, which may read the registration later. */
+/**
+ * Notifies the `requests` child and, through the `peers` child, the other daemons, which may read
+ * the registration later.
+ */
 const notifyLeaving = (endpoint: EndpointId): Effects => [
   { kind: 'post', event: { to: 'requests', kind: 'endpoint-leaving', endpoint } },
   { kind: 'post', event: { to: 'peers', kind: 'report-changed' } },
@@ -274,7 +280,7 @@
 
 /**
  * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
- * observed by this daemon, and the data centres that operators took out.
+ * observed by this daemon, and the data centres that operators took out of service.
  *
  * @param inputs - clock, and the engines to poll
  * @returns the decision logic
@@ -300,7 +306,7 @@
         return { state, effects: applyDataCentres(state, event.changes, event.scope) };
       case 'attempt-observed':
         return { state, effects: applyObservation(state, event.endpoint, event.observation, now) };
-      case 'reports-due':
+      case 'report-poll-due':
         return { state, effects: [...readReports(state, listPolledEngines()), NEXT_REPORT_POLL] };
       case 'report-read':
         return { state, effects: applyReport(state, event.endpoint, event.report, now) };
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -1,6 +1,6 @@
 /**
- * Interval between reports to the other daemons. With older loads, the placements of all daemons
- * crowd onto the same engines.
+ * Interval between reports to the other daemons. With older loads, all daemons place their
+ * requests on the same engines.
  */
 export const REPORT_INTERVAL_MS = 80;
 
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -95,8 +95,8 @@
   t.true(check('e-2', 600));
 });
 
-// Guards against transfers that are not made before the engine stops because they wait for a daemon
-// that stopped.
+// Guards against transfers that wait for a daemon that stopped, and so are not made before the
+// engine stops.
 test('a peer without recent reports does not delay the transfers of others', (t) => {
   const harness = createHarness();
   harness.receive('10.0.0.2', { transfers: [['e-1', 700]] });
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -87,8 +87,8 @@
 
 /**
  * Reports whether another daemon transfers a generation from the same endpoint first. The highest
- * priority goes first, since there may not be time for all transfers. The names of the daemons
- * break ties, so that all daemons agree.
+ * priority is transferred first, since there may not be time for all transfers. The names of the
+ * daemons break ties, so that all daemons agree.
  *
  * @param state - peers and their last reports
  * @param transfer - this daemon's next transfer
@@ -112,8 +112,8 @@
   );
 
 /**
- * Counts the daemons whose reports arrive at present, including this one. A daemon that is cut off
- * from the others cannot rely on what they learn.
+ * Counts the daemons whose reports arrive at present, including this one. A daemon that is
+ * partitioned from the others cannot rely on their reports of leaving endpoints.
  *
  * @param state - peers and their last reports
  * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
@@ -205,7 +205,7 @@
 
 /**
  * Creates the decision logic of the `peers` child, which exchanges reports with the other gateway
- * daemons. A lost datagram only delays what the next report repeats.
+ * daemons. The next report repeats the contents of a lost datagram, so a loss only delays them.
  *
  * @param inputs - clock, addresses and the contents of the reports
  * @returns the decision logic
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -1,6 +1,9 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Work of one daemon on one endpoint. */
+/**
+ * Load of one daemon's requests on one endpoint. `waitingTokens` are the prompt tokens of requests
+ * without a first event.
+ */
 export type LoadRow = readonly [
   endpoint: string,
   requests: number,
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -58,8 +58,8 @@
 });
 
 /**
- * Chooses the endpoint of the backup. Only a generation that cannot be restarted needs one; the short
- * ones resume after their last event id.
+ * Chooses the endpoint of the backup. Only a generation that cannot be restarted needs one; a
+ * resumable stream continues after its last event id at any endpoint.
  */
 const chooseBackup = (
   forwarding: Forwarding,
@@ -81,7 +81,7 @@
       {
         kind: 'schedule',
         delayMs: computeStallTimeout(forwarding),
-        event: { to: 'requests', kind: 'silence-due', key, attempt: attempt.number },
+        event: { to: 'requests', kind: 'stall-check-due', key, attempt: attempt.number },
       },
     ];
   }
@@ -204,7 +204,8 @@
 };
 
 /**
- * Places a request at an endpoint, schedules another try, or refuses it after its longest wait.
+ * Places a request at an endpoint, schedules another try, or refuses it after the longest permitted
+ * wait.
  *
  * @param forwarding - request without a running attempt
  * @param purpose - purpose of the attempt
@@ -249,11 +250,11 @@
  *
  * @param forwarding - request whose attempt ended or is replaced
  * @param endpoint - endpoint that holds the copy
- * @param copy - name of the copy
+ * @param copy - reference to the copy
  * @param context - state and inputs
  * @returns effects, or null when that endpoint is not available
  */
-export const continueFromCopy = (
+export const resumeFromCopy = (
   forwarding: Forwarding,
   endpoint: EndpointRecord,
   copy: CopyReference,
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -2,12 +2,12 @@
 export const MAX_PLACEMENT_WAIT_SHARE = 0.12;
 
 /**
- * Share of the latency target for which a generation waits for free capacity. After that it is placed
- * even if it preempts other generations.
+ * Share of the latency target for which a generation waits for free capacity. After that it is
+ * placed even if that preempts other generations.
  */
 export const MAX_CAPACITY_WAIT_SHARE = 0.3;
 
-/** Delay before the next try to place a waiting request. */
+/** Delay before the placement of a waiting request is tried again. */
 export const PLACEMENT_RETRY_MS = 20;
 
 /** Share of the latency target after which an idempotent request without an answer is hedged. */
@@ -35,8 +35,8 @@
 export const DRAIN_ACCEPT_MS = 2_600;
 
 /**
- * Time that a request is expected to take late in a drain, apart from its output: a multiple of its
- * latency target, and a margin.
+ * Time that a request is expected to take late in a drain, apart from its output: the latency
+ * target of its route times this factor, plus a margin.
  */
 export const DRAIN_TARGET_FACTOR = 2;
 export const DRAIN_MARGIN_MS = 200;
@@ -53,7 +53,9 @@
 /** Limit of the requests in flight, above which new ones are refused. */
 export const MAX_REQUESTS = 4_000;
 
-/** Retry-after of a refused request, as a share of its time left; callers accept up to a third. */
+/**
+ * Retry-after of a refused request, as a share of its remaining time; callers accept up to a third.
+ */
 export const RETRY_AFTER_SHARE = 0.2;
 
 /** Bounds of the retry-after of a refused request. */
@@ -83,9 +85,9 @@
 export const TRANSFER_START_DELAY_MS = 20;
 
 /** Interval at which a daemon checks whether its next transfer may start. */
-export const TRANSFER_TURN_CHECK_MS = 10;
+export const TRANSFER_CHECK_MS = 10;
 
-/** Limit of the tries to transfer one generation. */
+/** Limit of the number of times that the transfer of one generation is started. */
 export const MAX_TRANSFER_TRIES = 20;
 
 /** Delay before a transfer is tried again. */
--- a/packages/gateway/requests/generationCopy.ts
+++ b/packages/gateway/requests/generationCopy.ts
@@ -2,7 +2,7 @@
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { CopyReference } from '../types.js';
 
-/** Name of a generation's copy, and the endpoint that holds it. */
+/** Reference to a generation's copy, and the endpoint that holds it. */
 export interface CopyLocation {
   readonly holder: EndpointRecord;
   readonly name: CopyReference;
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -36,11 +36,11 @@
 };
 
 /**
- * Computes the transfer priority of a generation: its prompt tokens, plus its output tokens with the
- * weight `OUTPUT_TOKEN_WEIGHT`.
+ * Computes the transfer priority of a generation: its prompt tokens, plus its output tokens with
+ * the weight `OUTPUT_TOKEN_WEIGHT`.
  *
  * @param forwarding - request
- * @returns the priority; a higher one goes first
+ * @returns the priority; the generation with the highest one is transferred first
  */
 export const computeTransferPriority = (forwarding: Forwarding): number => {
   const { demand } = forwarding.request;
@@ -56,8 +56,8 @@
 });
 
 /**
- * Sums the load of this daemon's requests on each endpoint, including transfers to it and backups
- * that it keeps for others.
+ * Sums the load of this daemon's requests on each endpoint, including transfers to it and the
+ * backups that it holds.
  *
  * @param state - requests in flight
  * @returns the loads by endpoint
@@ -146,7 +146,7 @@
     return candidates.map((candidate) => ({ ...candidate, coldHeadroom: null }));
   }
   const totalLimit =
-    service.coldPerSecond * inputs.getLive().coldOvershoot * COLD_LIMIT_UTILIZATION;
+    service.coldPerSecond * inputs.getLiveSettings().coldOvershoot * COLD_LIMIT_UTILIZATION;
   const ownLimit = Math.max(1, Math.floor(totalLimit / inputs.countDaemons()));
   return candidates.map((candidate) => {
     if (candidate.coldHeadroom === null) return candidate;
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -77,8 +77,8 @@
 };
 
 /**
- * Ends a request whose answer cannot be completed. The caller gets an error while it has been sent
- * nothing; otherwise its connection is broken off, so that the answer does not look complete.
+ * Ends a request whose answer cannot be completed. A caller that has been sent nothing gets an
+ * error; otherwise its connection is closed early, so that the answer does not look complete.
  *
  * @param forwarding - request without running attempts
  * @param reason - error message for the log and the caller
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -82,7 +82,7 @@
     countDaemons: () => 1,
     getDrain: () => drain,
     hasPeerWithHigherPriority: (source) => peerPrioritySources.has(source),
-    getLive: () => ({
+    getLiveSettings: () => ({
       seeds: [],
       budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
       graceMs: 8_000,
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -82,14 +82,14 @@
   t.is(Buffer.from(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'done');
 });
 
-// Guards against a `not-run` verdict when only the last attempts were refused, and an earlier one may
-// have run.
+// Guards against a `not-run` verdict when only the last attempts were refused, and an earlier one
+// may have run.
 test('refusals after a broken attempt give the verdict that the request may have run', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
   reportSent(harness, first);
   let effects = failAttempt(harness, first);
-  for (let turn = 0; turn < 5 && findAttemptOrders(effects).length > 0; turn += 1) {
+  for (let round = 0; round < 5 && findAttemptOrders(effects).length > 0; round += 1) {
     effects = startAnswer(harness, getOrder(effects), REFUSED);
   }
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'may-have-run');
@@ -177,7 +177,8 @@
   t.is(findEffect(unknownKey, 'refuse')?.failure.code, 'unauthorized');
 });
 
-// Guards against events that are lost, duplicated or cut when an engine crashes in the middle of one.
+// Guards against events that are lost, duplicated or truncated when an engine crashes while it
+// sends one.
 test('a stream resumes at its backup after the last complete event', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
@@ -202,8 +203,8 @@
   t.truthy(findEffect(ended, 'end-answer'));
 });
 
-// Guards against a second run of a generation whose backup endpoint refuses it: the caller would get
-// parts of two runs.
+// Guards against a second run of a generation whose backup endpoint refuses it: the caller would
+// get parts of two runs.
 test('a single-run generation is not restarted when its backup is refused', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
@@ -216,7 +217,7 @@
 });
 
 // Guards against an answer that looks complete although its stream was lost.
-test('a stream without a usable backup is broken off', (t) => {
+test('the answer to a stream without a usable backup is left incomplete', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
   startAnswer(harness, first);
@@ -250,7 +251,8 @@
   t.is(getOrder(effects).head.lastEventId, '3');
 });
 
-// Guards against the same wait for a stream that any endpoint can resume.
+// Guards against a caller that waits for a stalled engine although any endpoint can resume its
+// stream.
 test('a stalled resumable stream resumes at another endpoint', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
@@ -301,8 +303,8 @@
   t.is(findEffect(harness.sendRequest('/sweep/2'), 'refuse')?.failure.code, 'draining');
 });
 
-// Guards against a long resumable stream that is cut off when the draining daemon ends.
-test('a draining daemon admits no stream that takes longer than its time left', (t) => {
+// Guards against a long resumable stream that is interrupted when the draining daemon ends.
+test('a draining daemon admits no stream that takes longer than its remaining time', (t) => {
   const harness = createRequestsHarness();
   harness.setDrain({ drainedMs: 3_000, leftMs: 5_000 });
   const short = { ...DEMAND, expectedOutputTokens: 20 };
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -45,7 +45,7 @@
   },
 ];
 
-/** Refuses with a long retry-after: the daemon needs time, and callers retry only a few times. */
+/** Refuses with a long retry-after: the cause lasts a while, and callers retry only a few times. */
 const refuseUnready = (request: ForwardRequest, message: string): Effects => {
   const retryAfterMs = Math.min(
     UNREADY_RETRY_AFTER_MAX_MS,
@@ -61,7 +61,8 @@
 
 /**
  * Reports whether a draining daemon would end before it finishes a request. Once the balancer sends
- * no more connections, no long generation is admitted, as it would be cut off with the process.
+ * no more connections, no long generation is admitted, as the end of the process would interrupt
+ * it.
  */
 const isTooLongForDrain = (
   route: Route,
@@ -139,7 +140,7 @@
   }
   const forwarding = createForwarding(request, route, service, customer);
   state.inFlight.set(request.key, forwarding);
-  countRequest(getBudget(forwarding, context), inputs.getLive().budget, now);
+  countRequest(getBudget(forwarding, context), inputs.getLiveSettings().budget, now);
   return [
     {
       kind: 'schedule',
@@ -184,17 +185,22 @@
 ): Effects => {
   const { key } = forwarding.request;
   const stallTimeoutMs = computeStallTimeout(forwarding);
-  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  const stalledMs = context.inputs.clock.now() - attempt.lastEventAt;
   const canResume =
     attempt.transfer === null &&
     (findCopy(attempt) !== null || forwarding.route.resume === 'resumable');
   // Before its first event, a request may be queued at the endpoint.
-  if (silentMs < stallTimeoutMs || !canResume || forwarding.delivered === 'nothing') {
-    const delayMs = silentMs < stallTimeoutMs ? stallTimeoutMs - silentMs : stallTimeoutMs;
-    const event = { to: 'requests', kind: 'silence-due', key, attempt: attempt.number } as const;
+  if (stalledMs < stallTimeoutMs || !canResume || forwarding.delivered === 'nothing') {
+    const delayMs = stalledMs < stallTimeoutMs ? stallTimeoutMs - stalledMs : stallTimeoutMs;
+    const event = {
+      to: 'requests',
+      kind: 'stall-check-due',
+      key,
+      attempt: attempt.number,
+    } as const;
     return [{ kind: 'schedule', delayMs, event }];
   }
-  const message = `no event for ${Math.round(silentMs).toString()} ms`;
+  const message = `no event for ${Math.round(stalledMs).toString()} ms`;
   return [
     { kind: 'cancel-attempt', key, attempt: attempt.number },
     ...endAttempt(forwarding, attempt, { kind: 'silent', message }, context),
@@ -225,7 +231,7 @@
       return endTransferStep({ forwarding, attempt }, event.result, context);
     case 'hedge-due':
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
-    case 'silence-due':
+    case 'stall-check-due':
       return checkStall(forwarding, attempt, context);
     default:
       return assertNever(event);
@@ -234,7 +240,7 @@
 
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
   if (event.kind === 'request-arrived') return admitRequest(event.request, context);
-  if (event.kind === 'transfer-turn') return startNextTransfer(event.source, context);
+  if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
@@ -252,7 +258,7 @@
     case 'attempt-failed':
     case 'transfer-ended':
     case 'hedge-due':
-    case 'silence-due': {
+    case 'stall-check-due': {
       const attempt = forwarding.attempts.get(event.attempt);
       return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
     }
@@ -262,11 +268,11 @@
 };
 
 /**
- * Creates the child that owns the requests in flight. When it restarts, all of its requests fail,
- * since their state is kept nowhere else.
+ * Creates the decision logic of the `requests` child, which owns the requests in flight. When it
+ * restarts, all of its requests fail, since their state is not stored anywhere else.
  *
  * @param inputs - inputs from the rest of the daemon
- * @returns the decisions of the child
+ * @returns the decision logic
  */
 export const createRequestsLogic = (
   inputs: RequestsInputs,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,4 +1,4 @@
-import { cancelAttempts, continueFromCopy, placeRequest } from './attempts.js';
+import { cancelAttempts, resumeFromCopy, placeRequest } from './attempts.js';
 import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
 import { findCopy } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
@@ -35,9 +35,9 @@
 };
 
 const takeFromBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
-  const { clock, countDaemons, getLive } = context.inputs;
+  const { clock, countDaemons, getLiveSettings } = context.inputs;
   const window = getBudget(forwarding, context);
-  return takeRetry(window, getLive().budget, countDaemons(), clock.now());
+  return takeRetry(window, getLiveSettings().budget, countDaemons(), clock.now());
 };
 
 const toObservation = (end: AttemptEnd): AttemptObservation => {
@@ -125,8 +125,8 @@
   const { route } = forwarding;
   const copy = findCopy(attempt);
   if (copy !== null && takeFromBudget(forwarding, context) === 'taken') {
-    const continued = continueFromCopy(forwarding, copy.holder, copy.name, context);
-    if (continued !== null) return continued;
+    const resumed = resumeFromCopy(forwarding, copy.holder, copy.name, context);
+    if (resumed !== null) return resumed;
   }
   const hasAttempts = forwarding.possibleRuns < route.maxEndpoints;
   if (!isRetryable(forwarding) || !hasAttempts)
@@ -143,13 +143,14 @@
   context: RequestsContext,
 ): Effects => {
   forwarding.notRunAttempts += 1;
-  // An earlier attempt may have run, and this one was to resume from its copy.
+  // An earlier attempt may have run the request, and this one would have resumed from its copy.
   if (forwarding.verdict !== 'not-run' && !isRetryable(forwarding)) {
     return failRequest(forwarding, end.message, context);
   }
   if (forwarding.notRunAttempts >= MAX_NOT_RUN_ATTEMPTS)
     return failRequest(forwarding, end.message, context);
-  // A request that was never sent is no retry for the endpoints, so it needs no budget.
+  // The retry of a request that was never sent adds no load to the endpoints, so it needs no
+  // budget.
   const isBudgeted = end.kind === 'refused';
   if (isBudgeted && takeFromBudget(forwarding, context) === 'spent') {
     return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -207,7 +207,7 @@
 });
 
 // Guards against a caller that waits for a stream whose source stopped and whose target is lost.
-test('a transfer that fails after the source stopped breaks the stream off', (t) => {
+test('a stream is left incomplete when its transfer fails after the source stopped', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
   postLeaving(harness);
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,7 +1,7 @@
-import { chooseTransferTarget, continueFromCopy } from './attempts.js';
+import { chooseTransferTarget, resumeFromCopy } from './attempts.js';
 import {
   MAX_TRANSFER_TRIES,
-  TRANSFER_TURN_CHECK_MS,
+  TRANSFER_CHECK_MS,
   TRANSFER_RETRY_MS,
   TRANSFER_START_DELAY_MS,
 } from './constants.js';
@@ -65,7 +65,7 @@
 const scheduleNextTransfer = (source: EndpointId, delayMs: Millis): GatewayEffect => ({
   kind: 'schedule',
   delayMs,
-  event: { to: 'requests', kind: 'transfer-turn', source },
+  event: { to: 'requests', kind: 'transfer-due', source },
 });
 
 const listGenerationsAt = (
@@ -96,9 +96,9 @@
 
 /**
  * Starts to transfer the generations of a leaving endpoint to others. All daemons together transfer
- * one generation at a time from an endpoint, since the transfers share its network link. A stopped
- * generation would otherwise be interrupted for longer, because the tokens that it produced after its
- * copy would queue behind the copies of other generations.
+ * one generation at a time from an endpoint, since the transfers share its network link. Otherwise
+ * a stopped generation would be interrupted for longer: the tokens that it produced since its first
+ * copy would queue on the link behind the copies of other generations.
  *
  * @param source - endpoint that is leaving
  * @param context - state and inputs
@@ -144,8 +144,8 @@
 };
 
 /**
- * Starts the next transfer from a leaving endpoint, unless one is in progress or a peer's generation
- * has a higher priority.
+ * Starts the next transfer from a leaving endpoint, unless one is in progress or a peer's
+ * generation has a higher priority.
  *
  * @param source - endpoint that is leaving
  * @param context - state and inputs
@@ -166,7 +166,7 @@
     next === undefined ||
     context.inputs.hasPeerWithHigherPriority(source, computeTransferPriority(next.forwarding))
   ) {
-    return [scheduleNextTransfer(source, TRANSFER_TURN_CHECK_MS)];
+    return [scheduleNextTransfer(source, TRANSFER_CHECK_MS)];
   }
   const { transfer } = next.attempt;
   return transfer?.phase === 'waiting' ? startCopy(next, transfer, context) : [];
@@ -178,7 +178,7 @@
   return [REPORT_TO_PEERS, scheduleNextTransfer(attempt.endpoint.id, 0)];
 };
 
-const resumeFromCopy = (
+const resumeAfterTransfer = (
   run: RunningGeneration,
   endpoint: EndpointRecord,
   copy: CopyReference,
@@ -187,9 +187,9 @@
   const { attempt, forwarding } = run;
   const { key } = forwarding.request;
   forwarding.attempts.delete(attempt.number);
-  const continued = continueFromCopy(forwarding, endpoint, copy, context);
-  if (continued !== null) {
-    return [{ kind: 'cancel-attempt', key, attempt: attempt.number }, ...continued];
+  const resumed = resumeFromCopy(forwarding, endpoint, copy, context);
+  if (resumed !== null) {
+    return [{ kind: 'cancel-attempt', key, attempt: attempt.number }, ...resumed];
   }
   forwarding.attempts.set(attempt.number, attempt);
   const end = {
@@ -221,7 +221,7 @@
       attempt.copy = null;
       const copy = { kind: 'transfer', source: attempt.endpoint.address, handle } as const;
       const described = describeTransfer(run, 'moved', target);
-      return [described, ...endTransfer(run), ...resumeFromCopy(run, target, copy, context)];
+      return [described, ...endTransfer(run), ...resumeAfterTransfer(run, target, copy, context)];
     }
     default:
       return assertNever(transfer.phase);
@@ -229,7 +229,7 @@
 };
 
 /** Schedules another try of a failed transfer, or gives up after `MAX_TRANSFER_TRIES`. */
-const retryLater = (
+const retryTransfer = (
   run: RunningGeneration,
   transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
   reason: string,
@@ -281,14 +281,14 @@
       return handleCopied(run, transfer, result.handle, context);
     case 'no-room':
       attempt.refusedTargets.add(transfer.target.id);
-      if (transfer.phase === 'copying') return retryLater(run, transfer, 'no-room', context);
+      if (transfer.phase === 'copying') return retryTransfer(run, transfer, 'no-room', context);
       if (result.handle === null) return failTransfer(run, transfer, 'no-room', context);
       // The source stopped the generation but still has its memory, so it resumes there.
       attempt.copy = null;
       return [
         describeTransfer(run, 'back-at-source', attempt.endpoint),
         ...endTransfer(run),
-        ...resumeFromCopy(
+        ...resumeAfterTransfer(
           run,
           attempt.endpoint,
           { kind: 'transfer', source: attempt.endpoint.address, handle: result.handle },
@@ -298,7 +298,7 @@
     case 'not-running':
       // The generation waits for its first token or was preempted, and will run soon.
       return transfer.phase === 'copying'
-        ? retryLater(run, transfer, 'not-running', context)
+        ? retryTransfer(run, transfer, 'not-running', context)
         : failTransfer(run, transfer, 'not-running', context);
     case 'failed':
       return failTransfer(run, transfer, result.message, context);
@@ -308,9 +308,9 @@
 };
 
 /**
- * Checks whether a stream broke off because a transfer stopped its generation, and records it.
+ * Checks whether a stream ended early because a transfer stopped its generation, and records it.
  *
- * @param attempt - attempt whose stream broke off
+ * @param attempt - attempt whose stream ended early
  * @returns `wait` when the result of the transfer is pending, else `ended`
  */
 export const checkStreamEnd = (attempt: Attempt): 'wait' | 'ended' => {
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -21,14 +21,14 @@
 export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'continuation';
 
 /**
- * Transfer of a running generation to another endpoint. Transfers from one source run one at a time,
- * since they share its network link. The source keeps running the generation while it is copied;
- * then the source stops it, and its stream breaks off before the end.
+ * Transfer of a running generation to another endpoint. Transfers from one source run one at a
+ * time, since they share its network link. The source keeps running the generation while it is
+ * copied; then the source stops it and closes its stream, which is incomplete.
  */
 export type Transfer =
   | {
       readonly phase: 'waiting';
-      /** Number of times that copying was started. */
+      /** Number of times that copying has been started. */
       readonly tries: number;
       readonly dueAt: Millis;
     }
@@ -115,7 +115,7 @@
 
 /** Progress of a daemon's drain. */
 export interface DrainTimes {
-  /** Time since the daemon was told to stop. */
+  /** Time since the daemon received the stop signal. */
   readonly drainedMs: Millis;
   /** Time left until the daemon ends at the latest. */
   readonly leftMs: Millis;
@@ -132,7 +132,7 @@
   readonly getDrain: () => DrainTimes | null;
   /** Whether a peer has a generation of higher priority to transfer from an endpoint. */
   readonly hasPeerWithHigherPriority: (source: EndpointId, priority: number) => boolean;
-  readonly getLive: () => LiveSettings;
+  readonly getLiveSettings: () => LiveSettings;
   readonly crashes: CrashTable;
   readonly addOwnCrash: (fingerprint: string, endpoint: string) => void;
   readonly hashContent: (request: ForwardRequest) => string;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -32,16 +32,16 @@
   readonly budget: RetryBudgetSettings;
   /** Time from the stop signal until the platform kills the process. */
   readonly graceMs: Millis;
-  /** Factor by which the rate of requests to a cold endpoint may exceed its limit. */
+  /** Multiplier of the request rate limit of a cold endpoint. */
   readonly coldOvershoot: number;
   readonly learnWithin: StalenessLimits;
 }
 
-/** Limits on how late a daemon may learn of published records. */
+/** Time limits within which a daemon has to learn of published records. */
 export interface StalenessLimits {
   /** Time within which a daemon has to learn that an endpoint leaves. */
   readonly leavingMs: Millis;
-  /** Time after a disturbance of the daemon's connections from which the other limits apply. */
+  /** Time after a disruption of the daemon's connections from which the other limits apply. */
   readonly outageMs: Millis;
 }
 
@@ -74,7 +74,7 @@
   | { readonly kind: 'endpoint-removed'; readonly id: EndpointId }
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
 
-/** Whether the removal of a registration proves that its endpoint is gone. */
+/** Whether the removal of a registration proves that its endpoint has stopped. */
 export type RemovalCertainty =
   | { readonly kind: 'certain' }
   /**
@@ -115,7 +115,7 @@
   readonly lastEventId: string | null;
   /** Endpoint to which the generation's memory is replicated while it runs; null for none. */
   readonly backup: EndpointAddress | null;
-  /** Copy of the generation's memory from which to resume; null to start anew. */
+  /** Copy of the generation's memory from which to resume; null to start from the beginning. */
   readonly copy: CopyReference | null;
 }
 
@@ -131,8 +131,8 @@
   /** The copy contains the given number of events. */
   | { readonly kind: 'copied'; readonly handle: string; readonly events: number }
   /**
-   * The target had no capacity. With a handle, the source has stopped the generation and keeps its
-   * memory.
+   * The target did not have enough capacity. With a handle, the source has stopped the generation
+   * and still has its memory.
    */
   | { readonly kind: 'no-room'; readonly handle: string | null }
   /** The source does not run the request. */
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -162,7 +162,7 @@
           { source, priority, process: settings.process },
           clock.now(),
         ),
-      getLive: () => live.current,
+      getLiveSettings: () => live.current,
       crashes: crashes.table,
       addOwnCrash: crashes.addOwn,
       hashContent,
