Reword the soak's faults and outcomes

The outcome `given-up` is now `timed-out`, the fault `forget-history` is `compact-store`; neither is logged or printed. "cut off" and "told to" now say interrupted, truncated and which process ends the gateway. The finding about a drain says that a request was interrupted.

--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -33,7 +33,7 @@
       text += chunk;
       onChunk(chunk);
     });
-    // `complete` already shows whether the answer was cut off, so the error adds nothing.
+    // `complete` already shows whether the answer was truncated, so the error adds nothing.
     answer.on('error', () => undefined);
     answer.on('close', () => {
       resolve({ text, isComplete: answer.complete });
@@ -66,7 +66,7 @@
       }, timeoutMs);
       const settle = (result: CallOutcome): void => {
         clearTimeout(timer);
-        resolve(isTimedOut ? { kind: 'given-up' } : result);
+        resolve(isTimedOut ? { kind: 'timed-out' } : result);
       };
       outgoing.on('socket', (socket) => {
         if (!socket.connecting) connectionState = 'connected';
--- a/packages/soak/checkPromises.test.ts
+++ b/packages/soak/checkPromises.test.ts
@@ -94,7 +94,7 @@
     const outcome = { ...STREAM.outcome, eventIds } as CallRecord['outcome'];
     t.deepEqual(check({ calls: [{ ...STREAM, outcome }] }), ['events-in-order']);
   }
-  // A stream whose connection was cut may end early.
+  // A stream whose connection ended early may be incomplete.
   const cut: CallRecord = { ...STREAM, outcome: { kind: 'cut', eventIds: [1, 2] } };
   t.deepEqual(check({ calls: [cut] }), []);
 });
@@ -111,8 +111,8 @@
   t.deepEqual(check({ changes: [leaving, revoked, out], disruptions }), []);
 });
 
-// Guards against a drain that cuts off requests which the gateway had already forwarded.
-test('a request that a draining process cuts off is reported', (t) => {
+// Guards against a drain that interrupts requests which the gateway had already forwarded.
+test('a request that a draining process interrupts is reported', (t) => {
   const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
   const terminations = [{ gateway: 0, incarnation: 1, at: 49_000 }];
   t.deepEqual(check({ calls: [cut], terminations }), ['drain-loses-nothing']);
--- a/packages/soak/checkPromises.ts
+++ b/packages/soak/checkPromises.ts
@@ -163,8 +163,8 @@
   );
 
 /**
- * Finds a request that a draining process cut off. A connection that was closed before the process
- * read the request loses nothing.
+ * Finds a request that a draining process interrupted. A connection that was closed before the
+ * process read the request loses nothing.
  */
 const checkDrain = (
   call: CallRecord,
@@ -182,7 +182,7 @@
   const isUnread = runs.length === 0 && call.endedAt - call.sentAt <= UNREAD_CLOSE_MS;
   if (termination === undefined || isUnread) return [];
   if (!isUndisrupted(disruptions, call.sentAt, call.endedAt)) return [];
-  const detail = `${call.kind} ${call.id} was cut ${Math.round(call.endedAt - termination.at).toString()} ms after SIGTERM`;
+  const detail = `${call.kind} ${call.id} was interrupted ${Math.round(call.endedAt - termination.at).toString()} ms after SIGTERM`;
   return [{ promise: 'drain-loses-nothing', detail }];
 };
 
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -39,8 +39,8 @@
 };
 
 /**
- * Starts a proxy. Bytes that are dropped by a silent link are never delivered later: the connection
- * stays open and silent, as after a partition whose sender stopped retransmitting.
+ * Starts a proxy. Bytes that it drops are never delivered later: the connection stays open without
+ * traffic, as after a partition whose sender stopped retransmitting.
  *
  * @param initialTarget - listener that connections are forwarded to at first
  * @param host - loopback address to listen on
@@ -57,7 +57,7 @@
   const silencedSockets = new WeakSet<Socket>();
 
   const transfer = (from: Socket, to: Socket, direction: Direction): void => {
-    // Later bytes wait for delayed ones even if the mode has changed, so that the order is kept.
+    // Later bytes wait for delayed ones even if the mode has changed, so that they stay in order.
     let lastDelivery: Promise<void> = Promise.resolve();
     const deliver = (action: () => void): void => {
       const delay = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
--- a/packages/soak/planSoak.test.ts
+++ b/packages/soak/planSoak.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import { planSoak } from './planSoak.js';
 
-// Guards against regression cases whose seeds no longer produce the faults that they were kept for.
+// Guards against regression cases whose seeds no longer produce the faults that they are meant to
+// reproduce.
 test('equal seeds produce equal plans', (t) => {
   t.deepEqual(planSoak(7, 20_000), planSoak(7, 20_000));
   t.notDeepEqual(planSoak(7, 20_000), planSoak(8, 20_000));
--- a/packages/soak/planSoak.ts
+++ b/packages/soak/planSoak.ts
@@ -23,7 +23,7 @@
   reload: 1,
   link: 4,
   store: 2,
-  'forget-history': 1,
+  'compact-store': 1,
   'worker-crash': 2,
   'worker-leave': 3,
   configure: 2,
@@ -84,7 +84,7 @@
         dataCentre: pickIndex(random, DATA_CENTRE_COUNT),
         durationMs: durationMs + MAX_FAULT_MS,
       };
-    case 'forget-history':
+    case 'compact-store':
     case 'configure':
     case 'revoke-key':
       return { kind };
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -61,7 +61,7 @@
 
 const STATUS_OK = 200;
 
-/** Time that all processes are given to start, in ms. */
+/** Time from the start of the processes until the traffic begins, in ms. */
 const STARTUP_MS = 1_500;
 
 /** Pause of a caller between two requests, in ms. */
@@ -146,7 +146,7 @@
     case 'terminate':
     case 'link':
     case 'store':
-    case 'forget-history':
+    case 'compact-store':
     case 'worker-crash':
       return true;
     case 'reload':
@@ -208,7 +208,7 @@
       await wait(fault.durationMs);
       platform.setStoreFault('none');
       return;
-    case 'forget-history':
+    case 'compact-store':
       platform.compactStore();
       return;
     case 'worker-crash':
@@ -255,7 +255,7 @@
   }
 };
 
-/** Picks the next gateway in rotation, or the next one of all when none is in rotation. */
+/** Picks the next gateway in rotation, or simply the next gateway when none is in rotation. */
 const pickGateway = ({ gateways }: Soak, from: number): number => {
   const order = gateways.map((_, step) => (from + 1 + step) % GATEWAY_COUNT);
   return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAY_COUNT;
--- a/packages/soak/types.ts
+++ b/packages/soak/types.ts
@@ -43,7 +43,7 @@
     }
   | { readonly kind: 'store'; readonly mode: StoreFaultMode; readonly durationMs: Millis }
   /** The store compacts its topics, so that reads of old offsets fail. */
-  | { readonly kind: 'forget-history' }
+  | { readonly kind: 'compact-store' }
   | { readonly kind: 'worker-crash'; readonly slot: number; readonly durationMs: Millis }
   | {
       readonly kind: 'worker-leave';
@@ -92,7 +92,7 @@
   /** No connection was established. */
   | { readonly kind: 'not-sent' }
   /** The caller's timeout expired. */
-  | { readonly kind: 'given-up' };
+  | { readonly kind: 'timed-out' };
 
 /** A request as recorded by its caller; instants are those of the soak's monotonic clock. */
 export interface CallRecord {
@@ -135,7 +135,7 @@
 /** An observed violation of a promise that the gateways make. */
 export interface Finding {
   readonly promise:
-    /** A request that must not be repeated is started at most once. */
+    /** A request that must not run twice is started at most once. */
     | 'at-most-once'
     /** A request that was refused as not run did not run. */
     | 'true-refusal'
@@ -157,7 +157,7 @@
     | 'drain-loses-nothing'
     /** Requests are served again after the last fault. */
     | 'recovery'
-    /** A gateway process exits only when it is told to. */
+    /** A gateway process exits only when the soak terminates or kills it. */
     | 'process-stays'
     /** A gateway process exits within the grace period after SIGTERM. */
     | 'process-ends';
