Name the endpoint daemon's components and heartbeat events alike

The builders in wiring.ts were named buildEvents, buildRpc or buildList, unlike those of the entry daemon; they are buildEventLog, buildRpcServer and buildListAdapter now. The internal events 'beat-due' and 'beat' are 'heartbeat-due' and 'extra-heartbeat-due'; they never leave the process. describeLoad also described phase and evidence, so it is describeEndpoint. Comments use the words of the entry daemon for the same things.

--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -21,7 +21,7 @@
 
 export interface CallsInputs {
   readonly now: () => Millis;
-  /** Kept across restarts of the child, since a started nonce must never start again. */
+  /** Survives restarts of the child, since a started nonce must never start again. */
   readonly nonces: NonceTable;
   readonly hashBody: (body: Uint8Array) => string;
 }
@@ -206,10 +206,10 @@
 };
 
 /**
- * Creates the logic of the `calls` child, which handles calls to a plain service. Nonces ensure that
- * a call runs at most once.
+ * Creates the decision logic of the `calls` child, which handles calls to a plain service. Nonces
+ * ensure that a call runs at most once.
  *
- * A restarted child fails the calls that were running as `may-have-run`; the nonces are kept.
+ * A restarted child fails the calls that were running as `may-have-run`, and reuses the nonces.
  *
  * @param inputs - clock and the nonces of this incarnation
  * @returns the child's logic
--- a/packages/endpoint/classify.ts
+++ b/packages/endpoint/classify.ts
@@ -39,9 +39,9 @@
     case 'fence':
     case 'cancel':
     case 'sweep':
-    case 'beat':
+    case 'extra-heartbeat-due':
     case 'tick':
-    case 'beat-due':
+    case 'heartbeat-due':
     case 'acknowledged':
     case 'beat-failed':
     case 'drain-started':
--- a/packages/endpoint/engine/cachedPrefixes.ts
+++ b/packages/endpoint/engine/cachedPrefixes.ts
@@ -15,8 +15,8 @@
 });
 
 /**
- * Applies cache events. Skipped sequence numbers are counted as lost events; what those events did
- * to the cache is not guessed.
+ * Applies cache events. Skipped sequence numbers are counted as lost events; the prefixes that
+ * those events stored or evicted remain unknown.
  *
  * @param cached - cached prefixes before the events
  * @param events - events in the order of their sequence numbers
--- a/packages/endpoint/engine/constants.ts
+++ b/packages/endpoint/engine/constants.ts
@@ -1,7 +1,7 @@
 /** Timeout of a request for the endpoint's health, load or cache events. */
 export const ENGINE_PROBE_TIMEOUT_MS = 1_000;
 
-/** Interval of the health and load polls; the engine's own figures lag by more than this. */
+/** Interval of the health and load polls; the figures on the engine's load page lag by more. */
 export const ENGINE_POLL_MS = 200;
 
 /** Maximum number of connections to the endpoint: one per running sequence, plus the polls. */
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -37,7 +37,9 @@
   readonly now: () => Millis;
   readonly target: 'model' | 'service';
   readonly version: VersionName;
-  /** Returns the settings of the limit; the accepted gap follows from the class targets in force. */
+  /**
+   * Returns the settings of the limit; the accepted gap follows from the class targets in force.
+   */
   readonly getAdmissionSettings: () => AdmissionContext['settings'];
   /** Estimates of output lengths, learned from this endpoint's own generations. */
   readonly survival: SurvivalTable;
@@ -47,7 +49,7 @@
 
 type EngineStep = Step<EngineState, EndpointEffect>;
 
-const SCHEDULE_POLL: EndpointEffect = {
+const NEXT_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: ENGINE_POLL_MS,
   event: { to: 'engine', kind: 'poll' },
@@ -92,7 +94,9 @@
 const applyLoad = (state: EngineState, load: EngineLoad, inputs: EngineInputs): EngineStep =>
   toStep({ ...state, load, loadMeasuredAt: inputs.now() - load.ageMs });
 
-/** Ignores figures of an earlier start of the engine, which the lagging load page may still show. */
+/**
+ * Ignores figures of an earlier start of the engine, which the lagging load page may still show.
+ */
 const getMemory = (state: EngineState, startId: string): EngineMemory => {
   const { load } = state;
   const isCurrent = load?.startId === startId;
@@ -288,17 +292,19 @@
 };
 
 const probeEngine = (state: EngineState, inputs: EngineInputs): EngineStep => {
-  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, SCHEDULE_POLL);
+  if (inputs.target === 'service') return toStep(state, { kind: 'fetch-health' }, NEXT_POLL);
   return toStep<EngineState, EndpointEffect>(
     state,
     { kind: 'fetch-health' },
     { kind: 'fetch-load' },
     { kind: 'fetch-cache-events', from: state.cachedPrefixes.next },
-    SCHEDULE_POLL,
+    NEXT_POLL,
   );
 };
 
-/** Restarts the ramp when the data centre is back in use, since the endpoint's cache may be cold. */
+/**
+ * Restarts the ramp when the data centre is back in use, since the endpoint's cache may be cold.
+ */
 const restartRamp = (state: EngineState, inputs: EngineInputs): EngineStep => {
   const admission = { ...createAdmissionState(inputs.now()), running: state.admission.running };
   return toStep({ ...state, admission }, { kind: 'fetch-health' });
@@ -335,8 +341,8 @@
 };
 
 /**
- * Creates the logic of the `engine` child, which tracks the state of the endpoint and limits the
- * work admitted to it.
+ * Creates the decision logic of the `engine` child, which tracks the state of the endpoint and
+ * limits the work admitted to it.
  *
  * @param inputs - clock, admission settings, length estimates and class targets
  * @returns the child's logic
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -207,7 +207,7 @@
     post({ to: 'streams', kind: 'engine-finished', generationId, usage: progress.usage });
   };
 
-  const generate = async (
+  const runGeneration = async (
     generationId: GenerationId,
     call: GenerateCall,
     priority: number,
@@ -287,7 +287,8 @@
     fetchHealth,
     fetchLoad,
     fetchCacheEvents,
-    startGeneration: (generationId, call, priority) => void generate(generationId, call, priority),
+    startGeneration: (generationId, call, priority) =>
+      void runGeneration(generationId, call, priority),
     cancelGeneration,
     cancelAll: () => {
       for (const generationId of [...running.keys()]) cancelGeneration(generationId);
--- a/packages/endpoint/engine/types.ts
+++ b/packages/endpoint/engine/types.ts
@@ -16,7 +16,7 @@
   readonly newestAt: Millis;
 }
 
-/** State of the endpoint as its daemon observes it; rebuilt from the endpoint's own pages. */
+/** State of the endpoint as its daemon observes it; rebuilt from the endpoint's HTTP pages. */
 export interface EngineState {
   readonly reachability: 'unknown' | 'reached' | 'unreachable';
   readonly health: EngineHealth | null;
--- a/packages/endpoint/heartbeats/configuration.ts
+++ b/packages/endpoint/heartbeats/configuration.ts
@@ -30,8 +30,8 @@
 
 const applyReceivedRecord = (update: ConfigurationUpdate, raw: RawRecord): ConfigurationUpdate => {
   const { configuration, effects } = update;
-  // Repeated records and those after a gap are skipped; the next answer starts at this process's own
-  // offset.
+  // Duplicate records and those after a gap are skipped; the next answer starts at the offset of
+  // this process.
   if (raw.offset !== configuration.nextOffset) return update;
   const parsed = parseControlRecord(raw.body);
   const record = parsed.isOk() ? parsed.value : null;
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -64,7 +64,9 @@
     evidence: content.evidence.map((counters) => ({ ...counters })),
   });
 
-/** A record with malformed JSON keeps its position, so that the records around it are applied. */
+/**
+ * A record with malformed JSON gets no body but keeps its offset, so that the others are applied.
+ */
 const decodeRecord = ({ offset, at, body }: LogRecord): RawRecord => ({
   offset,
   at,
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -37,7 +37,7 @@
   readonly hash: StringHash;
   readonly getEntries: () => readonly ListedEntry[];
   /** Returns the content of the next heartbeat except its sequence number and offset. */
-  readonly describeLoad: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
+  readonly describeEndpoint: () => Omit<HeartbeatContent, 'sequence' | 'configurationOffset'>;
 }
 
 type HeartbeatsStep = Step<HeartbeatsState, EndpointEffect>;
@@ -105,13 +105,13 @@
 
 const sendHeartbeats = (state: HeartbeatsState, inputs: HeartbeatsInputs): HeartbeatsStep => {
   const now = inputs.now();
-  // Derived from the uptime, so that a restarted child does not repeat earlier sequence numbers.
+  // Derived from the uptime, so that a restarted child does not reuse earlier sequence numbers.
   const sequence = Math.max(state.sequence + 1, Math.ceil(now - inputs.startedAt));
   const entries = listTargets(inputs);
   const targets = entries.map(({ id }) => id);
   const sent = applyLease(state, { kind: 'heartbeat-sent', sequence, targets, now });
   const content: HeartbeatContent = {
-    ...inputs.describeLoad(),
+    ...inputs.describeEndpoint(),
     sequence,
     configurationOffset: state.configuration.nextOffset,
   };
@@ -144,7 +144,7 @@
   inputs: HeartbeatsInputs,
 ): HeartbeatsStep => {
   switch (event.kind) {
-    case 'beat-due': {
+    case 'heartbeat-due': {
       const step = sendHeartbeats(state, inputs);
       return toStep(step.state, ...step.effects, {
         kind: 'schedule',
@@ -152,7 +152,7 @@
         event,
       });
     }
-    case 'beat':
+    case 'extra-heartbeat-due':
       return sendHeartbeats(state, inputs);
     case 'tick': {
       const step = applyLease(state, { kind: 'tick', now: inputs.now() });
@@ -177,8 +177,8 @@
 };
 
 /**
- * Creates the logic of the `heartbeats` child, which sends heartbeats to entry daemons and keeps
- * this daemon's lease and configuration up to date.
+ * Creates the decision logic of the `heartbeats` child, which sends heartbeats to entry daemons and
+ * keeps this daemon's lease and configuration up to date.
  *
  * @param inputs - clock, identity and views of the other children
  * @returns the child's logic
@@ -195,7 +195,7 @@
         configuration,
         view: buildView(configuration),
       },
-      { kind: 'post', event: { to: 'heartbeats', kind: 'beat-due' } },
+      { kind: 'post', event: { to: 'heartbeats', kind: 'heartbeat-due' } },
       { kind: 'post', event: { to: 'heartbeats', kind: 'tick' } },
     );
   },
--- a/packages/endpoint/main.ts
+++ b/packages/endpoint/main.ts
@@ -10,10 +10,10 @@
     setTimeout(resolve, durationMs);
   });
 
-/** A daemon that serves until it is stopped. */
+/** Handle of a daemon that runs in this process. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
-  /** Drains and stops the daemon; resolves when no work is left or the drain time is over. */
+  /** Drains and stops the daemon; resolves when no work is left or the drain time has elapsed. */
   readonly stop: () => Promise<void>;
   /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
@@ -37,19 +37,19 @@
   daemon.start();
   events.record('daemon-started', { data: { rpc: urls.rpc, http: urls.http } });
 
-  const close = ended.then(async (reason) => {
+  const closed = ended.then(async (reason) => {
     const left = reason.kind === 'drained' ? reason.left : 0;
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     daemon.stop();
     cradle.entries.close();
-    const closed = Promise.all([
+    const connectionsClosed = Promise.all([
       cradle.engine.close(),
       cradle.list.close(),
       http.close(),
       rpc.close(),
     ]);
     // All work has ended, so a peer that keeps a connection open must not delay the exit.
-    await Promise.race([closed, waitFor(CLOSE_TIMEOUT_MS)]);
+    await Promise.race([connectionsClosed, waitFor(CLOSE_TIMEOUT_MS)]);
     return reason;
   });
 
@@ -57,8 +57,8 @@
     urls: { ...urls },
     stop: async () => {
       daemon.loop.post({ to: 'rpc', kind: 'drain-started', reason: 'stop requested' });
-      await close;
+      await closed;
     },
-    ended: close,
+    ended: closed,
   };
 };
--- a/packages/endpoint/platform/platform.ts
+++ b/packages/endpoint/platform/platform.ts
@@ -5,7 +5,7 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { EndpointEffect, ListedEntry, PlatformEvent } from '../types.js';
 
-/** Newest contents of the platform's instance list. */
+/** Latest contents of the platform's instance list. */
 export interface PlatformState {
   readonly entries: readonly ListedEntry[];
   /** Whether the last read of the list succeeded. */
@@ -16,7 +16,7 @@
 
 type PlatformStep = Step<PlatformState, EndpointEffect>;
 
-const SCHEDULE_POLL: EndpointEffect = {
+const NEXT_POLL: EndpointEffect = {
   kind: 'schedule',
   delayMs: LIST_POLL_MS,
   event: { to: 'platform', kind: 'poll' },
@@ -27,17 +27,18 @@
   event: Extract<PlatformEvent, { readonly kind: 'list-received' }>,
 ): PlatformStep => {
   const next: PlatformState = { entries: event.entries, list: 'up', self: event.self };
-  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, SCHEDULE_POLL);
+  if (event.self !== 'leaving' || state.self === 'leaving') return toStep(next, NEXT_POLL);
   const reason = 'the instance list shows this instance as leaving';
-  return toStep(next, SCHEDULE_POLL, {
+  return toStep(next, NEXT_POLL, {
     kind: 'post',
     event: { to: 'rpc', kind: 'drain-started', reason },
   });
 };
 
 /**
- * Creates the logic of the `platform` child, which reads the instance list. Known entry daemons are
- * kept while the list is unavailable, since heartbeats show which of them are running.
+ * Creates the decision logic of the `platform` child, which reads the instance list. Known entry
+ * daemons are retained while the list is unavailable, since heartbeats show which of them are
+ * running.
  *
  * @returns the child's logic
  */
@@ -64,9 +65,7 @@
           details: { data: { reason: event.reason } },
         };
         const next = { ...state, list: 'out' } as const;
-        return state.list === 'out'
-          ? toStep(next, SCHEDULE_POLL)
-          : toStep(next, SCHEDULE_POLL, logged);
+        return state.list === 'out' ? toStep(next, NEXT_POLL) : toStep(next, NEXT_POLL, logged);
       }
       default:
         return assertNever(event);
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -78,7 +78,7 @@
     { phase: 'draining', since: now },
     { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
     // Entry daemons are notified at once; the next regular heartbeat may be half a second away.
-    { kind: 'post', event: { to: 'heartbeats', kind: 'beat' } },
+    { kind: 'post', event: { to: 'heartbeats', kind: 'extra-heartbeat-due' } },
     { kind: 'schedule', delayMs: DRAIN_CHECK_MS, event: { to: 'rpc', kind: 'drain-checked' } },
   );
 };
@@ -98,8 +98,8 @@
 };
 
 /**
- * Creates the logic of the `rpc` child, which accepts or refuses the calls of entry daemons and
- * drains the process.
+ * Creates the decision logic of the `rpc` child, which accepts or refuses the calls of entry
+ * daemons and drains the process.
  *
  * @param inputs - clock, drain time and views of the other children
  * @returns the child's logic
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -89,8 +89,8 @@
 };
 
 /**
- * Stores the result of a generation for requests that repeat its key. If the engine certainly did
- * not run the generation, its nonce is fenced instead.
+ * Stores the result of a generation for later requests with the same key. If the engine certainly
+ * did not run the generation, its nonce is fenced instead.
  *
  * @param generation - generation, with its record if it has one
  * @param end - how the generation ended
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -65,7 +65,7 @@
 ): readonly EndpointEffect[] => {
   const { generationId } = generation.call;
   const step = decideBuffer(generation.buffer, event);
-  // A generation that the daemon itself cancelled ran in part and must not run again.
+  // A generation that this daemon cancelled has run in part and must not run again.
   const { end } = step.state;
   if (step.effects.some(({ kind }) => kind === 'cancel-engine') && end !== null) {
     finishNonce(generation, end, inputs);
@@ -284,8 +284,8 @@
   if (reader === undefined || generation === undefined) return [];
   const identity = { stream: reader.stream, link: reader.link };
   const { nextNumber } = event;
-  const taken = { kind: 'reader-took', ...identity, nextNumber, now: inputs.now() } as const;
-  return applyBuffer(state, generation, taken, inputs);
+  const progress = { kind: 'reader-took', ...identity, nextNumber, now: inputs.now() } as const;
+  return applyBuffer(state, generation, progress, inputs);
 };
 
 const cancelGeneration = (
@@ -294,7 +294,7 @@
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const generation = state.generations.get(generationId);
-  // The caller of a generation that runs at most once may request the answer by its key later.
+  // The caller of a generation that runs at most once may retry with the same key for its answer.
   if (generation === undefined || generation.call.nonce !== null) return [];
   return applyBuffer(state, generation, { kind: 'cancelled', now: inputs.now() }, inputs);
 };
@@ -366,8 +366,9 @@
 };
 
 /**
- * Creates the logic of the `streams` child, which starts generations, buffers their chunks and sends
- * them to readers. Its state is lost with the process; readers then receive `stream-lost`.
+ * Creates the decision logic of the `streams` child, which starts generations, buffers their chunks
+ * and sends them to readers. Its state is lost with the process; readers then receive
+ * `stream-lost`.
  *
  * @param inputs - clock, nonces, buffer limits and priorities
  * @returns the child's logic
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -3,7 +3,7 @@
 import type { BufferState } from '../../decisions/streams/bufferTypes.js';
 import type { CallId, GenerateCall } from '../types.js';
 
-/** Answer recorded for requests that repeat its key; updated in place with each chunk. */
+/** Answer recorded for later requests with the same key; updated in place with each chunk. */
 export interface AnswerRecord {
   /** Hash chain over the chunks so far: each chunk is hashed together with the previous digest. */
   digest: string;
--- a/packages/endpoint/supervisor.ts
+++ b/packages/endpoint/supervisor.ts
@@ -13,7 +13,7 @@
   SupervisorSpec,
 } from '../core/supervision/types.js';
 
-/** Newest state of each child, published after each of its steps for the other children to read. */
+/** Latest state of each child, published after each of its steps. Readers must not modify it. */
 export interface EndpointStates {
   platform: PlatformState;
   engine: EngineState;
@@ -35,11 +35,11 @@
 };
 
 /**
- * Describes the supervisor of an endpoint daemon.
+ * Describes the root supervisor of an endpoint daemon.
  *
- * The `engine` child starts before the children whose work it admits. The `rpc` child starts last, so
- * that no work is accepted before the other children run. Each child can restart alone, since the
- * others only read its state.
+ * The `engine` child starts before the children whose work it admits. The `rpc` child starts last,
+ * so that no work is accepted before the other children run. Each child can be restarted without
+ * the others, since they only read its state.
  *
  * @param logics - decision logic of the children
  * @param states - receives each new state
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -144,8 +144,9 @@
 export type WorkId = string;
 
 /**
- * `failure` is an error response and `lost` a broken connection, as after a crash. `cancelled` work,
- * which includes work that the endpoint refused as a bad request, is no evidence about its version.
+ * `failure` is an error response and `lost` a broken connection, as after a crash. `cancelled` work
+ * includes bad requests that the endpoint refused, and does not count as evidence about its
+ * version.
  */
 export type WorkResult = 'success' | 'failure' | 'lost' | 'cancelled';
 
@@ -177,7 +178,7 @@
       readonly to: 'engine';
       readonly kind: 'health-received';
       readonly health: EngineHealth;
-      /** When the page was requested; it confirms nothing about work admitted later. */
+      /** When the page was requested; the page does not reflect work admitted after that. */
       readonly requestedAt: Millis;
     }
   | { readonly to: 'engine'; readonly kind: 'health-failed'; readonly reason: string }
@@ -255,9 +256,9 @@
 
 export type HeartbeatsEvent =
   /** The regular heartbeat is due. */
-  | { readonly to: 'heartbeats'; readonly kind: 'beat-due' }
-  /** An extra heartbeat is needed, to notify entry daemons of a change at once. */
-  | { readonly to: 'heartbeats'; readonly kind: 'beat' }
+  | { readonly to: 'heartbeats'; readonly kind: 'heartbeat-due' }
+  /** An extra heartbeat is due, to notify entry daemons of a change at once. */
+  | { readonly to: 'heartbeats'; readonly kind: 'extra-heartbeat-due' }
   /** Checks the clock, so that a pause of the process ends the lease. */
   | { readonly to: 'heartbeats'; readonly kind: 'tick' }
   | {
@@ -310,7 +311,7 @@
       readonly kind: 'start-generation';
       readonly generationId: GenerationId;
       readonly call: GenerateCall;
-      /** Priority number, by which the engine preempts the classes whose stalls cost least. */
+      /** Priority number, by which the engine preempts the classes whose stalls cost the least. */
       readonly priority: number;
     }
   | { readonly kind: 'cancel-generation'; readonly generationId: GenerationId }
--- a/packages/endpoint/views.ts
+++ b/packages/endpoint/views.ts
@@ -34,14 +34,14 @@
 /**
  * Describes the endpoint for a heartbeat.
  *
- * Running work is counted here instead of taken from the lagging load page, since all work reaches
+ * Running work is counted here instead of read from the lagging load page, since all work reaches
  * the endpoint through this daemon.
  *
  * @param states - states of the children
  * @param now - current instant
  * @returns phase, limit, load, cached prefixes and evidence
  */
-export const describeLoad = (
+export const describeEndpoint = (
   states: EndpointStates,
   now: Millis,
 ): Omit<HeartbeatContent, 'sequence' | 'configurationOffset'> => {
@@ -61,8 +61,8 @@
 };
 
 /**
- * Returns the targets of a class for admission. A class that is not published gets the importance
- * that the entry daemon sent, and long answers.
+ * Returns the targets of a class for admission. For a class that is not published, they are the
+ * importance that the entry daemon sent and long answers.
  *
  * @param states - states of the children
  * @param className - class of the request
@@ -85,8 +85,8 @@
 };
 
 /**
- * Returns the time between tokens up to which the admission limit may grow: the lowest target of the
- * published classes, since all of them share the endpoint.
+ * Returns the time between tokens up to which the admission limit may grow: the lowest target of
+ * the published classes, since all of them share the endpoint.
  *
  * @param states - states of the children
  * @returns the gap in milliseconds; 0 without published classes
@@ -105,6 +105,7 @@
 export const getUnreadyReason = (states: EndpointStates): string | null => {
   if (states.rpc.phase !== 'accepting') return 'draining';
   if (states.engine.reachability !== 'reached') return 'the endpoint does not answer';
-  if (getLimit(states.engine.admission) === 0) return 'the endpoint is not confirmed';
+  if (getLimit(states.engine.admission) === 0)
+    return 'the identity of the endpoint is not confirmed';
   return states.heartbeats.lease.status === 'held' ? null : 'no lease';
 };
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -21,7 +21,7 @@
 import { createStreamsLogic } from './streams/streams.js';
 import { createEndpointSupervisor } from './supervisor.js';
 import type { EndpointLogics, EndpointStates } from './supervisor.js';
-import { describeLoad, getAcceptedGap, getClassTargets, getUnreadyReason } from './views.js';
+import { describeEndpoint, getAcceptedGap, getClassTargets, getUnreadyReason } from './views.js';
 import type { EndpointEffect, EndpointEvent } from './types.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
@@ -43,7 +43,7 @@
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import type { EndpointSettings } from '../settings/types.js';
 
-/** Parts of an endpoint daemon, by their names in the container. */
+/** Components of an endpoint daemon, by their names in the dependency container. */
 export interface EndpointCradle {
   readonly settings: EndpointSettings;
   readonly onEnd: (reason: EndReason) => void;
@@ -62,20 +62,20 @@
   readonly daemon: Daemon<EndpointEvent>;
 }
 
-/** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
+/** Why a daemon ends: its drain has finished, or an error escaped the supervisor tree. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
 
 const HASH_BYTES = 6;
 
-const hashText = (text: string): number =>
+const hashToUint48 = (text: string): number =>
   createHash('sha256').update(text).digest().readUIntBE(0, HASH_BYTES);
 
 const hashBody = (body: Uint8Array): string =>
   createHash('sha256').update(body).digest('base64url');
 
-const buildEvents = ({ settings, incarnation, clock }: EndpointCradle): EventLog =>
+const buildEventLog = ({ settings, incarnation, clock }: EndpointCradle): EventLog =>
   createEventLog({
     process: settings.process,
     role: 'endpoint',
@@ -84,7 +84,7 @@
     write: createConsolaWriter(settings.log.format),
   });
 
-const buildEngine = (cradle: EndpointCradle): EngineClient => {
+const buildEngineClient = (cradle: EndpointCradle): EngineClient => {
   const { target } = cradle.settings;
   const url = target.kind === 'model' ? target.engineUrl : target.serviceUrl;
   return createEngineClient(url, cradle.clock, (event) => {
@@ -92,10 +92,10 @@
   });
 };
 
-const buildRpc = (cradle: EndpointCradle): RpcServer =>
+const buildRpcServer = (cradle: EndpointCradle): RpcServer =>
   createRpcServer(cradle.incarnation, (event) => cradle.daemon.loop.post(event));
 
-const buildEntries = (cradle: EndpointCradle): EntryClient => {
+const buildEntryClient = (cradle: EndpointCradle): EntryClient => {
   const { settings, incarnation, urls } = cradle;
   const { target } = settings;
   const getIdentity = () => ({
@@ -114,7 +114,7 @@
   });
 };
 
-const buildList = (cradle: EndpointCradle): ListAdapter =>
+const buildListAdapter = (cradle: EndpointCradle): ListAdapter =>
   createListAdapter(cradle.settings.platform.listUrl, cradle.settings.instance, (event) => {
     cradle.daemon.loop.post(event);
   });
@@ -166,9 +166,9 @@
       startedAt: now(),
       intervalMs: settings.heartbeat.intervalMs,
       subsetSize: settings.heartbeat.subsetSize,
-      hash: hashText,
+      hash: hashToUint48,
       getEntries: () => states.platform.entries,
-      describeLoad: () => describeLoad(states, now()),
+      describeEndpoint: () => describeEndpoint(states, now()),
     }),
     rpc: createGateLogic({
       now,
@@ -179,7 +179,7 @@
   };
 };
 
-const buildHttp = (cradle: EndpointCradle): FastifyInstance => {
+const buildHttpServer = (cradle: EndpointCradle): FastifyInstance => {
   const server = fastify({ forceCloseConnections: true });
   registerInspectionPages(server, {
     process: cradle.settings.process,
@@ -224,10 +224,10 @@
 };
 
 /**
- * Wires the parts of an endpoint daemon.
+ * Builds the dependency container of an endpoint daemon.
  *
  * @param settings - validated settings
- * @param onEnd - called when the process of the daemon should end
+ * @param onEnd - called when the daemon has drained or failed, so that its process can end
  * @returns the container
  */
 export const wireEndpointDaemon = (
@@ -241,17 +241,16 @@
     clock: asFunction(createSystemClock).singleton(),
     incarnation: asFunction(createId).singleton(),
     urls: asValue({ rpc: '', http: '' }),
-    // Filled by the children, which start in the declared order: each one publishes its state before
-    // any other part reads it.
+    // Starts empty. Children start in the declared order, so each publishes its state before use.
     states: asValue({} as EndpointStates),
-    events: asFunction(buildEvents).singleton(),
+    events: asFunction(buildEventLog).singleton(),
     metrics: asFunction(createMetrics).singleton(),
-    engine: asFunction(buildEngine).singleton(),
-    rpc: asFunction(buildRpc).singleton(),
-    entries: asFunction(buildEntries).singleton(),
-    list: asFunction(buildList).singleton(),
+    engine: asFunction(buildEngineClient).singleton(),
+    rpc: asFunction(buildRpcServer).singleton(),
+    entries: asFunction(buildEntryClient).singleton(),
+    list: asFunction(buildListAdapter).singleton(),
     logics: asFunction(buildLogics).singleton(),
-    http: asFunction(buildHttp).singleton(),
+    http: asFunction(buildHttpServer).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
   });
   return container;
