Reword the remaining unclear comments of the entry daemon

transferStream(s) handed streams over at the end of a drain, while a transfer moves a running generation: they are endStreamWithTicket and drainStreams. Local names 'given' and 'wanted' say what they hold. Comments such as 'its turn', 'worsens the verdict' and 'gone' are plain. The message for an invalid Idempotency-Key says 'printable ASCII', as its check does; its test matches the whole sentence.

--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -137,7 +137,7 @@
     }
   | { readonly to: 'requests'; readonly kind: 'intents-folded' }
   | { readonly to: 'requests'; readonly kind: 'retry-due'; readonly requestId: RequestId }
-  /** An endpoint may have free capacity. */
+  /** A heartbeat reported new load, so the endpoint may have free capacity. */
   | {
       readonly to: 'requests';
       readonly kind: 'capacity-changed';
@@ -301,9 +301,9 @@
     }
   | { readonly kind: 'end-process'; readonly left: number };
 
-/** Notification that is sent to operators without a request of theirs. */
+/** Unsolicited notification to operators. */
 export interface OperatorNotice {
-  /** The same whichever daemon sends the notice, so that the receiver can drop duplicates. */
+  /** Identical for all daemons that send the notice, so that the receiver can drop duplicates. */
   readonly id: string;
   readonly event: EventName;
   readonly entity: string;
--- a/packages/entry/frontend/badInput.test.ts
+++ b/packages/entry/frontend/badInput.test.ts
@@ -103,7 +103,10 @@
 const BAD_KEYS: readonly BadInput[] = [
   [{ 'idempotency-key': '' }, /^Idempotency-Key is empty/] as const,
   [{ 'idempotency-key': 'k'.repeat(257) }, /^Idempotency-Key is longer than 256/] as const,
-  [{ 'idempotency-key': 'caf\u00e9' }, /^Idempotency-Key holds/] as const,
+  [
+    { 'idempotency-key': 'caf\u00e9' },
+    /^Idempotency-Key contains a character outside printable ASCII/,
+  ] as const,
   ...['', 'soon', 'foo 1', '-1', '1e9', '2026-12-04T08:00:00', '2026-13-01', '9'.repeat(16)].map(
     (time) =>
       [
@@ -241,8 +244,8 @@
   for (const answer of refused) t.like(answer.json(), { verdict: 'may-have-run' }, answer.body);
 });
 
-// Guards against a header with a recent time of issue that lets a request run again after the chain
-// of its key has expired.
+// Guards against a header that claims a recent time of issue for an old key, which would let a
+// request run again after the chain of its key has expired.
 test('the time in a UUIDv7 key takes precedence over the header', async (t) => {
   const { server, queued } = startFrontEnd();
   t.teardown(() => server.close());
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -91,8 +91,10 @@
   });
 
   const readRequestId = (request: FastifyRequest): string => {
-    const given = readCallerRequestId(request);
-    return given !== undefined && !responders.has(given) ? given : createId();
+    const callerRequestId = readCallerRequestId(request);
+    return callerRequestId !== undefined && !responders.has(callerRequestId)
+      ? callerRequestId
+      : createId();
   };
 
   const readCommonFields = (request: FastifyRequest, requestId: string, customer: Customer) => ({
--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -20,7 +20,7 @@
   readonly now: () => Millis;
   /** Time in which open requests can finish before streams are handed over. */
   readonly drainMs: Millis;
-  /** Time after the hand-over in which the rest can finish, such as uninterruptible calls. */
+  /** Time after the hand-over in which calls can finish, since they cannot be handed over. */
   readonly handOverGraceMs: Millis;
   readonly countOpen: () => number;
 }
--- a/packages/entry/frontend/idempotencyKey.ts
+++ b/packages/entry/frontend/idempotencyKey.ts
@@ -54,7 +54,8 @@
   if (key.length > MAX_KEY_LENGTH) {
     return refuse(`Idempotency-Key is longer than ${MAX_KEY_LENGTH.toString()} characters`);
   }
-  if (!PRINTABLE_ASCII.test(key)) return refuse('Idempotency-Key holds a character outside ASCII');
+  if (!PRINTABLE_ASCII.test(key))
+    return refuse('Idempotency-Key contains a character outside printable ASCII');
   const time = issuedAt === undefined ? Ok(null) : parseTime(issuedAt);
-  return time.map((given) => ({ key, issuedAt: resolveIssueTime(key, given) }));
+  return time.map((headerTime) => ({ key, issuedAt: resolveIssueTime(key, headerTime) }));
 };
--- a/packages/entry/frontend/requestBody.ts
+++ b/packages/entry/frontend/requestBody.ts
@@ -19,7 +19,9 @@
   max_completion_tokens: z.number().int().positive().nullish(),
 });
 
-/** Fields that the daemon derives from a chat-completions body; the engine gets the raw body. */
+/**
+ * Fields that the daemon derives from a chat-completions body; the engine receives the raw body.
+ */
 export type ParsedBody = Pick<
   GenerationRequest,
   'model' | 'form' | 'promptTokens' | 'maxTokens' | 'prefix' | 'fingerprint'
@@ -69,7 +71,7 @@
       Math.ceil(prompt.length / CHARACTERS_PER_TOKEN) + messages.length * MESSAGE_OVERHEAD_TOKENS,
     maxTokens: parsed.data.max_completion_tokens ?? parsed.data.max_tokens ?? null,
     prefix: hashPrefix(prompt),
-    // Leaves out the form of the answer, so that a retry in another form has the same fingerprint.
+    // Omits the form of the answer, so that a retry in another form has the same fingerprint.
     fingerprint: hashText(`${model}\n${contents.join('\n')}`),
   });
 };
--- a/packages/entry/frontend/requestId.ts
+++ b/packages/entry/frontend/requestId.ts
@@ -9,7 +9,7 @@
  * @returns the value of `X-Request-Id`, or undefined when it is absent, empty or too long
  */
 export const readCallerRequestId = (request: FastifyRequest): RequestId | undefined => {
-  const given = request.headers['x-request-id'];
-  if (typeof given !== 'string' || given === '') return undefined;
-  return given.length <= MAX_REQUEST_ID_LENGTH ? given : undefined;
+  const header = request.headers['x-request-id'];
+  if (typeof header !== 'string' || header === '') return undefined;
+  return header.length <= MAX_REQUEST_ID_LENGTH ? header : undefined;
 };
--- a/packages/entry/frontend/responders.ts
+++ b/packages/entry/frontend/responders.ts
@@ -19,7 +19,7 @@
 
 /** Connections of callers whose requests are open. */
 export interface Responders {
-  /** Takes over the connection of a request from Fastify. */
+  /** Registers the connection of a request; Fastify no longer answers on it. */
   readonly open: (requestId: RequestId, reply: FastifyReply, form: AnswerForm) => void;
   readonly has: (requestId: RequestId) => boolean;
   readonly count: () => number;
--- a/packages/entry/frontend/serviceRoutes.ts
+++ b/packages/entry/frontend/serviceRoutes.ts
@@ -8,11 +8,11 @@
 export type ServiceRoute = Service['routes'][number];
 
 const isMatch = (pattern: string, path: string): boolean => {
-  const wanted = pattern.split('/');
-  const given = path.split('/');
-  if (wanted.length !== given.length) return false;
-  return wanted.every((segment, index) => {
-    const value = given[index] ?? '';
+  const patternSegments = pattern.split('/');
+  const pathSegments = path.split('/');
+  if (patternSegments.length !== pathSegments.length) return false;
+  return patternSegments.every((segment, index) => {
+    const value = pathSegments[index] ?? '';
     return segment.startsWith('{') ? value !== '' : segment === value;
   });
 };
--- a/packages/entry/frontend/tickets.ts
+++ b/packages/entry/frontend/tickets.ts
@@ -11,7 +11,7 @@
   readonly createdAt: Millis;
 }
 
-/** Signs one resume ticket per generation and keeps it until its request is closed. */
+/** Signs one resume ticket per generation and caches it until the request is closed. */
 export interface TicketIssuer {
   readonly getTicket: (
     requestId: RequestId,
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -5,9 +5,9 @@
 /** Handle of a daemon that runs in this process. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
-  /** Drains and stops the daemon; resolves once nothing is open or the drain time has elapsed. */
+  /** Drains and stops the daemon; resolves when no work is left or the drain time has elapsed. */
   readonly stop: () => Promise<void>;
-  /** Resolves when the daemon has ended for any reason. */
+  /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
 }
 
--- a/packages/entry/membership/heartbeatServer.ts
+++ b/packages/entry/membership/heartbeatServer.ts
@@ -16,7 +16,7 @@
 
 /** RPC server that receives the heartbeats of endpoint daemons. */
 export interface HeartbeatServer {
-  /** Answers a heartbeat; null refuses one that is older than the latest. */
+  /** Answers a heartbeat; null refuses it because a newer one was applied. */
   readonly replyHeartbeat: (heartbeatId: string, reply: HeartbeatReply | null) => void;
   /** Starts listening and returns the address. */
   readonly listen: (host: string, port: number) => Promise<string>;
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -187,7 +187,7 @@
   return applyTableEvent({ ...state, peers }, { kind: 'instance-list', instances: listed, now });
 };
 
-/** Applies a tick. A late tick means that this process was paused, so its state may be stale. */
+/** Handles a tick. A late one means that this process was paused, so its state may be stale. */
 const handleTick = (state: MembershipState, now: Millis): MembershipStep => {
   const nextTick: EntryEffect = {
     kind: 'schedule',
--- a/packages/entry/moves/moveNotices.ts
+++ b/packages/entry/moves/moveNotices.ts
@@ -25,7 +25,7 @@
 };
 
 /**
- * Derives the event for the notice of a move.
+ * Derives the event of the notice that announces the end of a move.
  *
  * @param view - move in the configuration
  * @param role - whether this process appended the terminal record
--- a/packages/entry/moves/moves.test.ts
+++ b/packages/entry/moves/moves.test.ts
@@ -59,7 +59,7 @@
     ],
   }) as unknown as ReceivedHeartbeat;
 
-const findEnd = (effects: readonly EntryEffect[]): EntityRecord | undefined => {
+const findEndRecord = (effects: readonly EntryEffect[]): EntityRecord | undefined => {
   for (const effect of effects) {
     if (effect.kind !== 'post' || effect.event.to !== 'appends') continue;
     if (effect.event.kind !== 'append-requested') continue;
@@ -95,7 +95,7 @@
     apply({ to: 'moves', kind: 'evidence-received', heartbeat: bad });
     apply({ to: 'moves', kind: 'tick' });
   }
-  return { configuration, chosen, end: findEnd(effects) };
+  return { configuration, chosen, end: findEndRecord(effects) };
 };
 
 // Guards against a restarted move that no daemon can end, because its terminal record is based on
--- a/packages/entry/moves/moves.ts
+++ b/packages/entry/moves/moves.ts
@@ -25,7 +25,7 @@
 export interface WatchedMove {
   readonly view: MoveView;
   readonly state: MoveState;
-  /** Reason for which the move was stopped or needs an operator; empty otherwise. */
+  /** Why the move was stopped or needs an operator; empty otherwise. */
   readonly reason: string;
 }
 
@@ -44,7 +44,7 @@
 
 /**
  * Route of all generations. Shares are decided per route, because a fault on one route of a service
- * does not show on the others.
+ * does not show in the evidence of the others.
  */
 export const CHAT_ROUTE = 'chat';
 
@@ -63,8 +63,8 @@
   now: Millis,
 ): readonly EntryEffect[] => {
   const { name: entity, offset } = view;
-  // Each daemon has its own evidence and may send this notice; they share the id, so that the
-  // receiver can drop duplicates.
+  // Each daemon collects its own evidence and may send this notice. All use the same id, so that
+  // the receiver can drop duplicates.
   const id = `${event}/${entity}/${offset.toString()}`;
   return [
     { kind: 'log', name: event, details: { entity, data: { reason: detail } } },
@@ -190,8 +190,8 @@
 
 /**
  * Returns the role of this process in the notice of an ended move. After a restart, the process
- * reads ends that its earlier incarnation appended and whose notices may already be sent. So it is
- * the author only if this incarnation knew the move before its end.
+ * reads terminal records that its earlier incarnation appended and whose notices may already be
+ * sent, so it is the author only if this incarnation knew the move before its end.
  */
 const toNoticeRole = (known: WatchedMove | undefined, view: MoveView, process: string) =>
   known?.view.offset === view.offset && known.view.ended === null && view.ended?.author === process
@@ -266,7 +266,7 @@
  *
  * @param state - state of the `moves` child
  * @param model - model of the request
- * @param requestId - id of the request, whose hash is compared with the share
+ * @param requestId - id of the request, whose hash selects the old or the new version
  * @param hash - hashes a string to an unsigned 32-bit integer
  * @returns the version, or null when the model has no move
  */
--- a/packages/entry/operator/constants.ts
+++ b/packages/entry/operator/constants.ts
@@ -1,6 +1,6 @@
 import type { Millis } from '../../core/clock.js';
 
-/** Time to read a record back from the log; after it, the outcome is reported as unknown. */
+/** Time within which an appended record must be read back; later, its outcome is unknown. */
 export const OPERATION_TIMEOUT_MS: Millis = 10_000;
 
 /** Timeout of one webhook call. */
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -50,7 +50,7 @@
   adapters.loop().post({ to: 'requests', kind: 'caller-gone', requestId });
 };
 
-const transferStream = (effect: EffectOf<'hand-over'>, adapters: EntryAdapters): void => {
+const endStreamWithTicket = (effect: EffectOf<'hand-over'>, adapters: EntryAdapters): void => {
   const { requestId, customer, source, nextNumber } = effect;
   const { ticket } = adapters.tickets.getTicket(requestId, customer, source);
   adapters.responders.endWithTicket(requestId, ticket, nextNumber);
@@ -137,7 +137,7 @@
       tickets.remove(effect.requestId);
       return;
     case 'hand-over':
-      transferStream(effect, adapters);
+      endStreamWithTicket(effect, adapters);
       return;
     case 'reply-operator':
       adapters.replyOperator(effect.operationId, effect.outcome);
--- a/packages/entry/platform/appends/appends.ts
+++ b/packages/entry/platform/appends/appends.ts
@@ -59,7 +59,7 @@
       const event = { to: 'operator', kind: 'append-ended', operationId, result } as const;
       return [{ kind: 'post', event }];
     }
-    // The daemon plans its own records again as long as they are due, so a failure needs no reply.
+    // The daemon plans its own records again while they are due, so a failure needs no reply.
     case 'own-record':
       return [];
     default:
--- a/packages/entry/platform/badRecords.test.ts
+++ b/packages/entry/platform/badRecords.test.ts
@@ -20,7 +20,8 @@
   nonce: `${kind}-${entity}`,
 });
 
-const takeOut = (entity: string) => buildControl('data-centre', entity, { state: 'out' });
+const buildDataCentreOut = (entity: string) =>
+  buildControl('data-centre', entity, { state: 'out' });
 
 const buildIntent = (key: string) => ({
   kind: 'intent',
@@ -72,7 +73,7 @@
 
 const BAD_CONTROL: readonly (readonly [unknown, RegExp])[] = [
   ...DAMAGED,
-  [{ ...takeOut('later'), format: 2 }, /field "format": format 2 is unknown/],
+  [{ ...buildDataCentreOut('later'), format: 2 }, /field "format": format 2 is unknown/],
   // A later format may change every other field; the rejection must still name the format.
   [{ kind: 'later-kind', format: 2, more: 1 }, /field "format": format 2 is unknown/],
   [{ ...buildControl('move', 'm2', { ...MOVE, name: 'm2' }), format: 3 }, /format 3 is unknown/],
@@ -80,12 +81,16 @@
   [buildControl('move', 'm4', { ...MOVE, deadline: '9' }), /field "body.deadline"/],
   [buildControl('move-ended', 'm', { outcome: 'half', reason: '' }), /field "body.outcome"/],
   [buildControl('targets', 'all', { classes: [] }), /field "body.classes"/],
-  [{ ...takeOut('west'), basedOn: -1 }, /field "basedOn"/],
-  [{ ...takeOut('west'), kind: 'other' }, /field "kind"/],
+  [{ ...buildDataCentreOut('west'), basedOn: -1 }, /field "basedOn"/],
+  [{ ...buildDataCentreOut('west'), kind: 'other' }, /field "kind"/],
   [{ kind: 'snapshot', format: 1, author: 'a', nonce: 'n', asOf: 0 }, /field "entities"/],
 ];
 
-const GOOD_CONTROL = [takeOut('east'), buildControl('move', 'm', MOVE), takeOut('south')] as const;
+const GOOD_CONTROL = [
+  buildDataCentreOut('east'),
+  buildControl('move', 'm', MOVE),
+  buildDataCentreOut('south'),
+] as const;
 
 /** Valid records before, between and after the invalid ones. */
 const CONTROL_BODIES: readonly unknown[] = [
--- a/packages/entry/requests/classes.ts
+++ b/packages/entry/requests/classes.ts
@@ -23,7 +23,7 @@
   deadlineMs: 30_000,
 };
 
-const getDefault = (request: CallerRequest): ClassPolicy =>
+const getDefaultPolicy = (request: CallerRequest): ClassPolicy =>
   request.kind === 'service' ? DEFAULT_SERVICE_CLASS : DEFAULT_CLASS;
 
 /**
@@ -40,7 +40,7 @@
   published: ReadonlyMap<ClassName, ClassPolicy>,
 ): ClassLookup => {
   const routeClass = request.kind === 'service' ? request.routeClass : null;
-  const fallback = getDefault(request);
+  const fallback = getDefaultPolicy(request);
   const name = request.className ?? routeClass ?? customerDefault ?? fallback.className;
   const policy = published.get(name);
   if (policy !== undefined) return { kind: 'found', policy };
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -82,10 +82,10 @@
   };
 
   /**
-   * Forgets a connection whose call failed, so that the next call creates a new session manager.
-   * The streams of a failing HTTP/2 session fail before the session emits its own error. A call that
-   * reopened the same manager in between would remove the error listener from the failing session,
-   * and the unhandled error would end this process.
+   * Removes a connection whose call failed, so that the next call creates a new session manager.
+   * The streams of a failing HTTP/2 session fail before the session emits its own error. A call
+   * that reopened the same manager before that would remove the error listener from the failing
+   * session, and the unhandled error would end this process.
    */
   const releaseConnection = (url: string, client: EndpointRpc, error: unknown): void => {
     // A timeout of a call says nothing about the state of its connection.
@@ -208,8 +208,8 @@
     const isTimeout = ConnectError.from(error).code === Code.DeadlineExceeded;
     return createFailure(
       'may-have-run',
-      // A timeout has a code of its own, since that of a failed endpoint would make the requests that
-      // it ran suspects.
+      // A timeout has a separate code, since the code of a failed endpoint would make the requests
+      // that the endpoint ran suspects.
       isTimeout ? 'deadline-exceeded' : 'endpoint-failed',
       `no answer from the endpoint daemon: ${reason}`,
     );
--- a/packages/entry/requests/endpointMessages.ts
+++ b/packages/entry/requests/endpointMessages.ts
@@ -3,7 +3,7 @@
 import type { Failure } from '../../core/verdict.js';
 import type { HeaderField, ServiceAnswer } from '../types.js';
 
-/** Identifies one link, a call that streams a generation from an endpoint daemon. */
+/** Identifies a link: one call that streams a generation from an endpoint daemon. */
 export interface LinkKey {
   readonly requestId: RequestId;
   readonly generationId: GenerationId;
--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -8,7 +8,7 @@
  * Adds the digest of the body to an answer.
  *
  * @param answer - answer of the endpoint
- * @returns the answer for the intent
+ * @returns the answer in the form that an intent stores
  */
 export const toStoredAnswer = (answer: ServiceAnswer): StoredAnswer => ({
   ...answer,
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -129,8 +129,8 @@
  *
  * @param request - request of the caller
  * @param policy - policy of its class
- * @param inputs - endpoints by name
- * @returns the step that resumes the stream, or that reports to the caller that it is lost
+ * @param inputs - clock and endpoints
+ * @returns the step that resumes the stream, or fails the request with `stream-lost`
  */
 export const startResume = (
   request: ResumeRequest,
@@ -162,7 +162,7 @@
     lastChunkAt: null,
   };
   if (url === undefined || view?.incarnation !== incarnation) {
-    const text = `endpoint ${endpoint} of the resume ticket is gone or has restarted`;
+    const text = `endpoint ${endpoint} of the resume ticket is no longer known or has restarted`;
     return failRequest(state, createFailure('may-have-run', 'stream-lost', text), inputs);
   }
   return applyEffects(state, resumed.effects, inputs);
@@ -251,7 +251,9 @@
   }
 };
 
-/** Applies the delivery's effects in order; the request ends with the first one that ends it. */
+/**
+ * Applies the delivery's effects in order; once an effect has ended the request, it stays ended.
+ */
 const applyEffects = (
   state: GenerationState,
   effects: readonly DeliveryEffect[],
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -50,8 +50,8 @@
   policy: ClassPolicy,
   inputs: RequestsInputs,
 ): KeyedState => {
-  // A call without a key is not recognised when the caller repeats it, but its own attempts still
-  // run at most once.
+  // Without a key, a retry by the caller cannot be recognised as a duplicate. A generated key still
+  // ensures that the attempts of this request run at most once.
   const key = request.key ?? inputs.createId();
   const base = createRequestBase(policy, inputs);
   return {
@@ -126,7 +126,11 @@
 ): RequestStep => {
   const url = inputs.findHeartbeat(effect.endpoint)?.rpcUrl;
   if (url === undefined || state.placement === null) {
-    const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
+    const failure = createFailure(
+      'not-run',
+      'no-endpoint',
+      'the address of the endpoint is no longer known',
+    );
     const result = { kind: 'refused', failure } as const;
     return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
   }
@@ -360,8 +364,8 @@
 ): RequestStep => applyStreamStep(state, applyKeyedLink(state, completion, inputs), inputs);
 
 /**
- * Applies an event of the stream that does not come from its link, to a generation that runs at most
- * once.
+ * Applies an event of the stream that does not come from its link, to a generation that runs at
+ * most once.
  *
  * @param state - keyed request
  * @param event - event of its stream
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -59,7 +59,7 @@
 
 const link = fc.nat({ max: 1 });
 const verdict = fc.constantFrom('not-run' as const, 'may-have-run' as const);
-const ofGeneration = {
+const generationIds = {
   requestId: fc.constant(REQUEST.requestId),
   generationId: fc.constant(NONCE),
 };
@@ -67,13 +67,13 @@
 const anyCompletion: fc.Arbitrary<LinkCompletion> = fc.oneof(
   {
     weight: 2,
-    arbitrary: fc.record({ kind: fc.constant('link-opened' as const), ...ofGeneration, link }),
+    arbitrary: fc.record({ kind: fc.constant('link-opened' as const), ...generationIds, link }),
   },
   {
     weight: 14,
     arbitrary: fc.record({
       kind: fc.constant('chunks-received' as const),
-      ...ofGeneration,
+      ...generationIds,
       link,
       firstNumber: fc.nat({ max: TOTAL - 1 }),
       choices: fc.nat({ max: 3 }).map((count) => Array.from({ length: count }, () => '[]')),
@@ -83,7 +83,7 @@
     weight: 2,
     arbitrary: fc.record({
       kind: fc.constant('generation-finished' as const),
-      ...ofGeneration,
+      ...generationIds,
       link,
       chunkCount: fc.constant(TOTAL),
       usage: fc.constant(''),
@@ -92,15 +92,15 @@
   },
   fc.record({
     kind: fc.constant('generation-failed' as const),
-    ...ofGeneration,
+    ...generationIds,
     link,
     failure: fc
       .tuple(verdict, fc.constantFrom('endpoint-lost' as const, 'lost-race' as const))
-      .map(([given, code]) => createFailure(given, code, 'failed')),
+      .map(([failureVerdict, code]) => createFailure(failureVerdict, code, 'failed')),
   }),
   fc.record({
     kind: fc.constant('link-lost' as const),
-    ...ofGeneration,
+    ...generationIds,
     link,
     sent: fc.constantFrom('sent' as const, 'unsent' as const),
     reason: fc.constant('cut'),
@@ -146,8 +146,8 @@
   'hand-over',
 ]);
 
-// Guards against a stream that starts its generation a second time, cancels it although its key may
-// be sent again, or ends its caller's request twice or before the dispatch has ended.
+// Guards against a stream that starts its generation a second time, cancels it although the caller
+// may retry with the same key, or ends its caller's request twice or before the dispatch has ended.
 test('the stream of a dispatched nonce starts it once and never cancels it', (t) => {
   const seen = { answered: 0, refused: 0, unknown: 0 };
   const property = fc.property(fc.array(anyAction, { maxLength: 40, size: 'max' }), (actions) => {
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -33,7 +33,7 @@
 
 /** Step of the stream of a generation that runs at most once. */
 export interface StreamStep extends Step<KeyedState, EntryEffect> {
-  /** How the dispatch ended; null while the stream continues. */
+  /** Result of the dispatch; null while the stream continues. */
   readonly ended: DispatchResult | null;
 }
 
@@ -87,7 +87,7 @@
   readonly caller?: KeyedState['caller'];
 }
 
-/** Applies an effect of the stream without starting a second attempt or stopping the first one. */
+/** Applies an effect of the stream, but never starts a second attempt or cancels the generation. */
 const applyEffect = (
   stream: GenerationState,
   effect: DeliveryEffect,
@@ -118,7 +118,7 @@
       releaseAttempt(stream, toAttemptOutcome(failure), inputs);
       return { effects: [logAttemptEnd(stream, failure)], ended: toFailedResult(failure) };
     }
-    // The generation continues, since its caller may request the answer by its key.
+    // The generation continues, since its caller may retry with the same key to get the answer.
     case 'cancel-generation':
       return { effects: [buildCloseLink(stream, effect.source)] };
     default:
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -29,8 +29,8 @@
   verdict: 'not-run',
 } as unknown as CallState;
 
-// Guards against reporting `not-run` for a call that the queue refuses after an earlier attempt ran
-// and its answer was lost (P6).
+// Guards against reporting `not-run` for a call that the queue refuses after the answer of an
+// earlier attempt was lost: that attempt may have run (P6).
 test('a refusal after an attempt that may have run is reported as may-have-run', (t) => {
   const lost = createFailure('may-have-run', 'endpoint-failed', 'the answer was lost');
   const next = decideNextAttempt(CALL, lost, INPUTS);
--- a/packages/entry/requests/outcomes.ts
+++ b/packages/entry/requests/outcomes.ts
@@ -15,7 +15,7 @@
  * Ends a request with a failure.
  *
  * @param state - request that fails
- * @param reason - why it ends; an earlier attempt that may have run worsens the reported verdict
+ * @param reason - failure to report; its verdict is merged with those of earlier attempts
  * @param inputs - suspicions and placements of this daemon
  * @param effects - effects to apply first
  * @returns the step that ends the request
@@ -60,7 +60,7 @@
 
 /**
  * Marks a request as waiting in the queue and clears its excluded endpoints: those that refused it
- * earlier may have capacity by the time it is its turn, and there may be no others.
+ * earlier may have capacity by the time it is dequeued, and there may be no others.
  *
  * @param state - request without a placement
  * @param reason - why no endpoint accepts it now
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -82,8 +82,8 @@
 ): RequestStep => {
   switch (request.kind) {
     case 'generation':
-      // Without a key, a repeated request cannot be recognised, and an attempt that may have run is
-      // never followed by another one, so an intent would add no protection.
+      // Without a key, a retry by the caller cannot be recognised as a duplicate. An attempt that
+      // may have run is never retried here either, so an intent would add no protection.
       return policy.repeat === 'never' && request.key !== null
         ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
         : placeGeneration(createGeneration(request, policy, inputs), inputs);
@@ -197,7 +197,7 @@
   );
 };
 
-/** Applies an event to the stream of a request; null for a request without one. */
+/** Applies an event to the stream of a request; returns null for a request without a stream. */
 const applyStreamEvent = (
   state: RequestState,
   event: DeliveryEvent,
@@ -215,8 +215,8 @@
   }
 };
 
-/** Hands the running streams over to other entry daemons: their callers resume them there. */
-const transferStreams = (context: RequestsContext): Effects => {
+/** Hands over the running streams: their callers resume them at other entry daemons. */
+const drainStreams = (context: RequestsContext): Effects => {
   context.state.phase = 'handing-over';
   return updateAll(context, (state) =>
     applyStreamEvent(state, { kind: 'drain-ended' }, context.inputs),
@@ -293,14 +293,14 @@
     case 'tick':
       return handleTick(event, context);
     case 'drain-ended':
-      return transferStreams(context);
+      return drainStreams(context);
     default:
       return assertNever(event);
   }
 };
 
 /**
- * Creates the logic of the `requests` child, which runs one state machine per request.
+ * Creates the decision logic of the `requests` child, which runs one state machine per request.
  *
  * @param inputs - endpoints, classes, estimates and the intent log
  * @returns the child's logic
--- a/packages/entry/requests/suspectEffects.ts
+++ b/packages/entry/requests/suspectEffects.ts
@@ -6,8 +6,8 @@
 import type { SuspicionEffect } from '../../decisions/quarantine/types.js';
 import type { EntryEffect } from '../events.js';
 
-/** Number of characters of a fingerprint in log events; enough to tell two apart. */
-const SHOWN_FINGERPRINT_LENGTH = 16;
+/** Number of characters of a fingerprint in log events; enough to distinguish two of them. */
+const LOGGED_FINGERPRINT_LENGTH = 16;
 
 const appendQuarantine = (
   context: RequestsContext,
@@ -37,7 +37,9 @@
     {
       kind: 'log',
       name: 'request-quarantined',
-      details: { data: { fingerprint: fingerprint.slice(0, SHOWN_FINGERPRINT_LENGTH), expiresAt } },
+      details: {
+        data: { fingerprint: fingerprint.slice(0, LOGGED_FINGERPRINT_LENGTH), expiresAt },
+      },
     },
   ];
 };
@@ -51,7 +53,7 @@
     case 'append-quarantine':
       return appendQuarantine(context, effect);
     case 'suspect-added': {
-      const fingerprint = effect.fingerprint.slice(0, SHOWN_FINGERPRINT_LENGTH);
+      const fingerprint = effect.fingerprint.slice(0, LOGGED_FINGERPRINT_LENGTH);
       return [{ kind: 'log', name: 'request-suspected', details: { data: { fingerprint } } }];
     }
     case 'suspect-cleared':
@@ -72,8 +74,8 @@
 };
 
 /**
- * Maximum number of rounds per event. Placing a held request may release another one; a further
- * round runs only when the previous one raised new effects.
+ * Maximum number of rounds per event. Placing a held request may release another one, so each round
+ * handles the effects that the previous one raised.
  */
 const MAX_ROUNDS = 16;
 
--- a/packages/entry/requests/suspicions.ts
+++ b/packages/entry/requests/suspicions.ts
@@ -12,8 +12,8 @@
 } from '../../decisions/quarantine/types.js';
 
 /**
- * Mutable suspicion state. Every attempt updates it from deep inside the decisions about a request,
- * so its effects are collected here and handled at the end of the event.
+ * Mutable suspicion state. The decisions about a request update it at many points without returning
+ * its effects, so the effects are collected here and handled at the end of the event.
  */
 export interface Suspicions {
   readonly checkPlacement: (fingerprint: string, now: Millis) => PlacementRule;
--- a/packages/entry/requests/transportErrors.ts
+++ b/packages/entry/requests/transportErrors.ts
@@ -4,7 +4,7 @@
  * Returns the message of an error that a call to an endpoint daemon threw.
  *
  * @param error - thrown value
- * @returns its message, or its string form if it is no `Error`
+ * @returns its message, or its string form if it is not an `Error`
  */
 export const getErrorMessage = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
@@ -12,7 +12,7 @@
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /**
- * Reports whether a failed call can have reached the endpoint daemon. A refused connection or an
+ * Reports whether a failed call may have reached the endpoint daemon. A refused connection or an
  * unreachable host or network proves that nothing was sent; any other error does not.
  *
  * @param error - thrown value
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -43,7 +43,9 @@
   readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
   /** Why the last attempt or placement failed; reported to the caller when the deadline passes. */
   readonly lastFailureReason: string;
-  /** Combined verdict of the ended attempts; for a keyed request the intent is more precise. */
+  /**
+   * Combined verdict of the ended attempts; a keyed request uses the verdict of its intent instead.
+   */
   readonly verdict: Verdict;
 }
 
@@ -68,7 +70,9 @@
   readonly intent: IntentState;
   /** Stream of a dispatched generation; null before the dispatch, after it and for calls. */
   readonly stream: GenerationState | null;
-  /** `served` once the caller has its answer or failure and only records remain to be appended. */
+  /**
+   * `served` once the caller received its answer or failure and only records are left to append.
+   */
   readonly caller: 'waiting' | 'served';
 }
 
--- a/packages/entry/supervisor.ts
+++ b/packages/entry/supervisor.ts
@@ -66,7 +66,7 @@
  *
  * @param logics - decision logic of the children
  * @param states - receives each new state
- * @param clock - clock that times the restarts
+ * @param clock - clock that timestamps the restarts
  * @param onFailure - receives failures of children at any depth
  * @returns the supervisor's specification
  */
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -82,7 +82,7 @@
   readonly body: Uint8Array;
 }
 
-/** Version of the model that a move selects for a request. */
+/** Version of the model that its newest move selects for a request. */
 export interface VersionChoice {
   readonly version: VersionName;
   /** Version to use when no endpoint of `version` accepts work; null when the request waits. */
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -58,12 +58,12 @@
 import { createLogClient } from '../platform/client/logClient.js';
 import type { EntrySettings } from '../settings/types.js';
 
-/** Reason for which a daemon ends: its drain has finished, or its supervisor tree failed. */
+/** Why a daemon ends: its drain has finished, or an error escaped the supervisor tree. */
 export type EndReason =
   | { readonly kind: 'drained'; readonly left: number }
   | { readonly kind: 'fault'; readonly error: unknown };
 
-/** Components of one entry daemon. */
+/** Components of an entry daemon, by their names in the dependency container. */
 export interface EntryCradle {
   readonly settings: EntrySettings;
   readonly onEnd: (reason: EndReason) => void;
