Add units to defaults and reword comments of core and the clients

Defaults of the settings had no unit or meaning; each has a line now. Comments such as 'dates restarts' and 'may be dead' say 'timestamps the restarts' and 'may be broken'. Test titles and local names of the client tests name the case instead of 'cut' and 'cutting'.

--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -30,7 +30,7 @@
  * Creates a clock for tests.
  *
  * @param start - first instant in milliseconds
- * @returns a clock that keeps its time until it is advanced
+ * @returns a clock whose time changes only when it is advanced
  */
 export const createVirtualClock = (start: Millis = 0): VirtualClock => {
   let current = start;
--- a/packages/core/loop/constants.ts
+++ b/packages/core/loop/constants.ts
@@ -4,4 +4,5 @@
 /** Events handled before control returns to I/O; bounds the delay of socket reads under load. */
 export const MAX_EVENTS_PER_BATCH = 256;
 
+/** Default queue capacity, in events. */
 export const DEFAULT_QUEUE_CAPACITY = 65_536;
--- a/packages/core/loop/loop.test.ts
+++ b/packages/core/loop/loop.test.ts
@@ -18,7 +18,7 @@
   });
 
 // Guards against a full queue that drops completions while it still accepts new requests.
-test('a full queue sheds new requests first and keeps completions', async (t) => {
+test('a full queue sheds new requests first and never completions', async (t) => {
   const handled: number[] = [];
   const loop = createItemLoop(handled, 4);
   const results = [
--- a/packages/core/metrics/latency.ts
+++ b/packages/core/metrics/latency.ts
@@ -4,6 +4,7 @@
 
 /** Durations are recorded in microseconds, so integer buckets resolve sub-millisecond ones. */
 const MICROS_PER_MILLI = 1_000;
+/** One hour. */
 const HIGHEST_TRACKABLE_MICROS = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 
--- a/packages/core/metrics/metrics.ts
+++ b/packages/core/metrics/metrics.ts
@@ -16,7 +16,8 @@
 }
 
 /**
- * Creates the metrics of a process. Latencies are kept in HDR histograms and exported as quantiles.
+ * Creates the metrics of a process. Latencies are recorded in HDR histograms and exported as
+ * quantiles.
  *
  * @returns empty metrics
  */
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -7,7 +7,7 @@
   readonly classify: (event: Event) => QueueClass;
   /** Starts the root supervisor. */
   readonly startRoot: () => RunningChild<Event, Effect>;
-  /** Performs one effect and posts its completion to the loop later. */
+  /** Carries out one effect; its completion is posted to the loop as an event. */
   readonly perform: (effect: Effect) => void;
   /** Receives an error that the root supervisor could not handle; the process exits after it. */
   readonly onFault: (error: unknown) => void;
--- a/packages/core/supervision/supervisor.ts
+++ b/packages/core/supervision/supervisor.ts
@@ -44,7 +44,7 @@
  * Starts a supervisor with its children. A supervisor is a child itself, so supervisors nest.
  *
  * @param spec - children, restart strategy and restart intensity
- * @param clock - clock that dates restarts
+ * @param clock - clock that timestamps the restarts
  * @param onFailure - receives each failure of a child, for the event log
  * @returns the running supervisor
  * @throws SupervisorEscalation from `handle` when the restart intensity is exceeded
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -77,8 +77,8 @@
   return { options: { baseUrl, timeoutMs: 300 }, records, server };
 };
 
-// Guards against a retry of an append that took effect: only an append that the log refused is
-// rejected, any other without confirmation is unknown.
+// Guards against a retry of an append that took effect: an append is reported as rejected only if
+// the log refused it, and as unknown if its confirmation is missing.
 test('an append is reported as appended, rejected or unknown by the response', async (t) => {
   const { options, records } = await startFakePlatform(t);
   const client = createLogClient(options);
@@ -100,17 +100,20 @@
   const refused = createLogClient(options);
   t.teardown(refused.close);
   t.is((await refused.append('append', [1])).kind, 'rejected');
-  const cutting = createServer((socket: Socket) => {
+  const closingServer = createServer((socket: Socket) => {
     socket.once('data', () => socket.destroy());
   });
   await new Promise<void>((resolve) => {
-    cutting.listen(0, '127.0.0.1', resolve);
+    closingServer.listen(0, '127.0.0.1', resolve);
   });
-  t.teardown(() => cutting.close());
-  const { port } = cutting.address() as AddressInfo;
-  const cut = createLogClient({ ...options, baseUrl: `http://127.0.0.1:${port.toString()}` });
-  t.teardown(cut.close);
-  t.is((await cut.append('append', [1])).kind, 'unknown');
+  t.teardown(() => closingServer.close());
+  const { port } = closingServer.address() as AddressInfo;
+  const interruptedClient = createLogClient({
+    ...options,
+    baseUrl: `http://127.0.0.1:${port.toString()}`,
+  });
+  t.teardown(interruptedClient.close);
+  t.is((await interruptedClient.append('append', [1])).kind, 'unknown');
 });
 
 // Guards against an invalid page that is folded, and against an outage that throws an error.
@@ -136,7 +139,7 @@
 
 // Guards against a record without a body or with malformed JSON in it that makes the other records
 // of the page unreadable, and against a truncated page that is read as a short one.
-test('a damaged record keeps its place in the page, a truncated page is a failure', async (t) => {
+test('a damaged record keeps its offset in the page, a truncated page is a failure', async (t) => {
   const { options } = await startFakePlatform(t);
   const client = createLogClient(options);
   t.teardown(client.close);
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -86,7 +86,7 @@
 
 /**
  * Creates an HTTP client of one service of the platform. A connection whose response times out is
- * closed, since it may be dead.
+ * closed, since it may be broken.
  *
  * @param options - base URL and timeout
  * @returns the client, which never throws for a failure of the service or the network
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -18,7 +18,7 @@
 const body = z
   .unknown()
   .optional()
-  .transform((given) => given ?? null);
+  .transform((value) => value ?? null);
 
 const pageSchema: z.ZodType<LogPage> = z.object({
   records: z.array(z.object({ offset, at: z.number(), body })),
--- a/packages/wire/failureCodec.ts
+++ b/packages/wire/failureCodec.ts
@@ -22,7 +22,7 @@
 
 /**
  * Decodes a failure from another process. An unknown code is read as `internal` and an unknown
- * verdict as `may-have-run`, because a retry of a request that ran would be unsafe.
+ * verdict as `may-have-run`, because retrying a request that ran would be unsafe.
  *
  * @param message - received message
  * @returns the failure
--- a/packages/wire/resumeTicket.ts
+++ b/packages/wire/resumeTicket.ts
@@ -33,7 +33,7 @@
 /**
  * Signs a resume ticket.
  *
- * The ticket makes a table of streams shared by all entry daemons unnecessary.
+ * With tickets, the entry daemons need no shared table of streams.
  *
  * @param ticket - content of the ticket
  * @param key - secret shared by all entry daemons
--- a/packages/wire/storedGeneration.ts
+++ b/packages/wire/storedGeneration.ts
@@ -4,7 +4,7 @@
 import { createFailure, FAILURE_CODES } from '../core/verdict.js';
 import type { Failure } from '../core/verdict.js';
 
-/** Answer of a generation, stored by an endpoint daemon for requests that repeat its key. */
+/** Answer of a generation, stored by an endpoint daemon for later requests with the same key. */
 export type StoredGeneration =
   | {
       readonly kind: 'finished';
