Reserve drain for the shutdown and describe the endpoint messages

drain and drainQueue placed waiting requests, although drain means the shutdown of a process everywhere else: they are placeRequests and placeWaitingRequests, and placeWaiting, which places one request, is placeRequest. The queue's doc says what a lane is, and the parameters of calls to endpoint daemons have a line each.

--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -16,6 +16,7 @@
   | { readonly phase: 'handing-over'; readonly since: Millis }
   | { readonly phase: 'ended' };
 
+/** Dependencies of the decisions on admission and drain. */
 export interface GateInputs {
   readonly now: () => Millis;
   /** Time in which open requests can finish before streams are handed over. */
--- a/packages/entry/requests/endpointMessages.ts
+++ b/packages/entry/requests/endpointMessages.ts
@@ -10,9 +10,11 @@
   readonly link: number;
 }
 
+/** Parameters of a call that starts a generation or resumes its stream. */
 export interface OpenGeneration extends LinkKey {
   readonly url: string;
   readonly mode: 'start' | 'resume';
+  /** Number of the first chunk to send. */
   readonly fromNumber: number;
   readonly incarnation: Incarnation;
   readonly customer: string;
@@ -26,6 +28,7 @@
   readonly body: Uint8Array;
 }
 
+/** Parameters of a call to a plain service. */
 export interface OpenCall {
   readonly url: string;
   readonly requestId: RequestId;
@@ -45,6 +48,7 @@
   readonly fingerprint: string;
 }
 
+/** Nonce to fence at the endpoint daemon that its intent names. */
 export interface FenceCommand {
   readonly url: string;
   readonly requestId: RequestId;
@@ -93,6 +97,7 @@
       readonly result: FenceAnswer;
     };
 
+/** Reply to a fence request: the state of the nonce at the endpoint daemon, if it was reached. */
 export type FenceAnswer =
   | { readonly kind: 'fenced' }
   | { readonly kind: 'started' }
@@ -100,6 +105,7 @@
   | { readonly kind: 'unknown-incarnation' }
   | { readonly kind: 'unreachable'; readonly reason: string };
 
+/** Adapter that calls endpoint daemons; results are posted as events. */
 export interface EndpointClient {
   readonly openGeneration: (open: OpenGeneration) => void;
   /** Stops reading a link; the generation continues at the endpoint daemon. */
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -141,7 +141,7 @@
     incarnation: effect.incarnation,
   };
   const next: KeyedState = { ...state, placement, attempts: state.attempts + 1 };
-  const active: EntryEffect = {
+  const logged: EntryEffect = {
     kind: 'log',
     name: 'intent-active',
     details: { requestId: state.request.requestId, data: { nonce: effect.nonce } },
@@ -150,11 +150,11 @@
   switch (request.kind) {
     case 'service': {
       const calls = buildCallEffects(next, request, placement, effect.nonce, inputs);
-      return toStep<KeyedState, EntryEffect>(next, active, ...calls);
+      return toStep<KeyedState, EntryEffect>(next, logged, ...calls);
     }
     case 'generation': {
       const step = startKeyedStream(next, request, placement, effect.nonce, inputs);
-      return toStep<KeyedState, EntryEffect>(step.state, active, ...step.effects);
+      return toStep<KeyedState, EntryEffect>(step.state, logged, ...step.effects);
     }
     default:
       return assertNever(request);
--- a/packages/entry/requests/requestTable.ts
+++ b/packages/entry/requests/requestTable.ts
@@ -27,7 +27,7 @@
  * @param inputs - endpoints and estimates
  * @returns the step of the request
  */
-export const placeWaiting = (state: RequestState, inputs: RequestsInputs): RequestStep => {
+export const placeRequest = (state: RequestState, inputs: RequestsInputs): RequestStep => {
   switch (state.kind) {
     case 'generation':
       return placeGeneration(state, inputs);
@@ -147,18 +147,18 @@
   });
 
 /**
- * Tries to place waiting requests in the fair order of the queue.
+ * Tries to place the waiting requests, in the fair order of the queue.
  *
  * @param context - table and queue
  * @returns the effects
  */
-export const drainQueue = (context: RequestsContext): Effects => {
+export const placeWaitingRequests = (context: RequestsContext): Effects => {
   const { state, inputs } = context;
   const effects: EntryEffect[] = [];
-  state.queue.drain((requestId) => {
+  state.queue.placeRequests((requestId) => {
     const queued = state.table.get(requestId);
     if (queued?.waiting !== 'in-queue') return 'placed';
-    const step = placeWaiting({ ...queued, waiting: 'no' }, inputs);
+    const step = placeRequest({ ...queued, waiting: 'no' }, inputs);
     if (step.state?.waiting === 'in-queue') return 'waits';
     storeState(context, requestId, step);
     effects.push(...step.effects);
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -21,9 +21,9 @@
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import {
-  drainQueue,
+  placeWaitingRequests,
   handleQueueEffects,
-  placeWaiting,
+  placeRequest,
   storeStep,
   updateAll,
   updateRequest,
@@ -224,7 +224,7 @@
 };
 
 const retryRequest = (state: RequestState, inputs: RequestsInputs): RequestStep =>
-  state.waiting === 'for-retry' ? placeWaiting({ ...state, waiting: 'no' }, inputs) : toStep(state);
+  state.waiting === 'for-retry' ? placeRequest({ ...state, waiting: 'no' }, inputs) : toStep(state);
 
 const handleConfiguration = (context: RequestsContext): Effects => {
   const { inputs } = context;
@@ -232,14 +232,18 @@
   for (const [fingerprint, expiresAt] of inputs.getQuarantined()) {
     inputs.suspicions.apply({ kind: 'quarantine-record', fingerprint, expiresAt, now });
   }
-  return drainQueue(context);
+  return placeWaitingRequests(context);
 };
 
 const handleTick = (event: RequestsEvent, context: RequestsContext): Effects => {
   const now = context.inputs.now();
   context.inputs.suspicions.apply({ kind: 'tick', now });
   const expired = handleQueueEffects(context, context.state.queue.apply({ kind: 'tick', now }));
-  return [...expired, ...drainQueue(context), { kind: 'schedule', delayMs: TICK_MS, event }];
+  return [
+    ...expired,
+    ...placeWaitingRequests(context),
+    { kind: 'schedule', delayMs: TICK_MS, event },
+  ];
 };
 
 const decideRequests = (event: RequestsEvent, context: RequestsContext): Effects => {
@@ -255,11 +259,11 @@
       );
     case 'resume-due': {
       const { requestId, generationId, link } = event;
-      const due = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
+      const timerEvent = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
       return updateRequest(
         context,
         requestId,
-        (state) => applyStreamEvent(state, due, inputs) ?? toStep(state),
+        (state) => applyStreamEvent(state, timerEvent, inputs) ?? toStep(state),
       );
     }
     case 'intent-timer': {
@@ -287,7 +291,7 @@
       return handleConfiguration(context);
     case 'capacity-changed':
       inputs.placements.applyLoadReport(event.endpoint, event.reportedAt);
-      return drainQueue(context);
+      return placeWaitingRequests(context);
     case 'endpoint-lost':
       return handleEndpointLost(event, context);
     case 'tick':
--- a/packages/entry/requests/suspectEffects.ts
+++ b/packages/entry/requests/suspectEffects.ts
@@ -1,5 +1,5 @@
 import { failRequest } from './outcomes.js';
-import { placeWaiting, updateRequest } from './requestTable.js';
+import { placeRequest, updateRequest } from './requestTable.js';
 import type { RequestsContext } from './requestTable.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
@@ -61,7 +61,7 @@
     case 'place-held':
       return updateRequest(context, effect.requestId, (state) =>
         state.waiting === 'held'
-          ? placeWaiting({ ...state, waiting: 'no' }, inputs)
+          ? placeRequest({ ...state, waiting: 'no' }, inputs)
           : toStep(state),
       );
     case 'refuse-held':
--- a/packages/entry/requests/waitingQueue.ts
+++ b/packages/entry/requests/waitingQueue.ts
@@ -12,16 +12,19 @@
 } from '../../decisions/fairness/types.js';
 import { NO_VERSION } from './constants.js';
 
-/** Queue of requests that wait for an endpoint, with fair queueing between customers. */
+/**
+ * Queue of requests that wait for an endpoint, with fair queueing between customers. A lane holds
+ * the requests of one class for one model or service.
+ */
 export interface WaitingQueue {
   readonly apply: (event: QueueEvent) => readonly QueueEffect[];
   /**
-   * Tries to place the first request of each lane until no lane has one that an endpoint accepts, or
-   * until `MAX_TRIES_PER_EVENT` is reached.
+   * Tries to place the first request of each lane until no lane has one that an endpoint accepts,
+   * or until `MAX_TRIES_PER_EVENT` is reached.
    *
    * @param place - tries to place a request; reports whether it left the queue
    */
-  readonly drain: (place: (requestId: RequestId) => 'placed' | 'waits') => void;
+  readonly placeRequests: (place: (requestId: RequestId) => 'placed' | 'waits') => void;
 }
 
 /**
@@ -39,7 +42,7 @@
     return step.effects;
   };
 
-  const drain: WaitingQueue['drain'] = (place) => {
+  const placeRequests: WaitingQueue['placeRequests'] = (place) => {
     const blockedLanes = new Set<string>();
     for (let tries = 0; tries < MAX_TRIES_PER_EVENT; tries += 1) {
       const head = listHeads(state).find((request) => !blockedLanes.has(getLaneKey(request)));
@@ -49,7 +52,7 @@
     }
   };
 
-  return { apply, drain };
+  return { apply, placeRequests };
 };
 
 const getLaneKey = (request: WaitingRequest): string => `${request.className}\n${request.resource}`;
