Document the inputs of the decisions and the supervisor's specifications

Interfaces such as StreamsInputs, ChildSpec and the capacity options had no comment; each says what it holds and in which unit. decideAdmission of the loop is decideQueueAdmission, because admission elsewhere means the limit of an endpoint.

--- a/packages/core/events/constants.ts
+++ b/packages/core/events/constants.ts
@@ -1,2 +1,2 @@
-/** Number of recent events that a process keeps in memory for the time line. */
+/** Number of recent events that a process stores in memory for the time line. */
 export const EVENT_RING_CAPACITY = 8_192;
--- a/packages/core/events/eventLog.ts
+++ b/packages/core/events/eventLog.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../clock.js';
 import type { Incarnation } from '../ids.js';
 
+/** Log of the events of one process. */
 export interface EventLog {
   /** Stores an event in the ring buffer and passes it to the writer. */
   readonly record: (name: EventName, details?: EventDetails) => void;
@@ -18,6 +19,7 @@
   readonly incarnation: Incarnation;
   readonly clock: Clock;
   readonly write: (event: LoggedEvent) => void;
+  /** Number of events in the ring buffer. */
   readonly capacity?: number;
 }
 
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -11,7 +11,7 @@
  * @param capacity - capacity of the queue in events
  * @returns `queued` when the event is admitted
  */
-export const decideAdmission = (
+export const decideQueueAdmission = (
   queueClass: QueueClass,
   depth: number,
   capacity: number,
@@ -69,7 +69,7 @@
 
   const post = (event: Event): PostResult => {
     if (state === 'stopped') return 'shed';
-    const result = decideAdmission(options.classify(event), getDepth(), options.capacity);
+    const result = decideQueueAdmission(options.classify(event), getDepth(), options.capacity);
     if (result === 'shed') return result;
     queue.push(event);
     if (state === 'idle') {
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -11,6 +11,7 @@
   readonly perform: (effect: Effect) => void;
   /** Receives an error that the root supervisor could not handle; the process exits after it. */
   readonly onFault: (error: unknown) => void;
+  /** Capacity of the event queue. */
   readonly capacity?: number;
 }
 
--- a/packages/core/supervision/types.ts
+++ b/packages/core/supervision/types.ts
@@ -25,6 +25,7 @@
   readonly stop: () => readonly Effect[];
 }
 
+/** Specification from which a supervisor starts and restarts a child. */
 export interface ChildSpec<Event, Effect> {
   readonly name: string;
   readonly restart: RestartRule;
@@ -32,6 +33,7 @@
   readonly start: () => RunningChild<Event, Effect>;
 }
 
+/** Specification of a supervisor and its children. */
 export interface SupervisorSpec<Event, Effect> {
   readonly name: string;
   readonly strategy: RestartStrategy;
--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -19,6 +19,7 @@
   WorkResult,
 } from '../types.js';
 
+/** Dependencies of the decisions on calls. */
 export interface CallsInputs {
   readonly now: () => Millis;
   /** Survives restarts of the child, since a started nonce must never start again. */
--- a/packages/endpoint/engine/engine.ts
+++ b/packages/endpoint/engine/engine.ts
@@ -33,6 +33,7 @@
   WorkResult,
 } from '../types.js';
 
+/** Dependencies of the decisions on admission. */
 export interface EngineInputs {
   readonly now: () => Millis;
   readonly target: 'model' | 'service';
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -88,6 +88,7 @@
   return { resumed, resume };
 };
 
+/** Adapter that calls the endpoint; results are posted as events. */
 export interface EngineClient {
   readonly fetchHealth: () => void;
   readonly fetchLoad: () => void;
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -26,6 +26,7 @@
   ListedEntry,
 } from '../types.js';
 
+/** Dependencies of the decisions on heartbeats, lease and configuration. */
 export interface HeartbeatsInputs {
   readonly now: () => Millis;
   readonly endpoint: string;
@@ -33,6 +34,7 @@
   readonly incarnation: Incarnation;
   readonly startedAt: Millis;
   readonly intervalMs: Millis;
+  /** Number of entry daemons that receive the heartbeats. */
   readonly subsetSize: number;
   readonly hash: StringHash;
   readonly getEntries: () => readonly ListedEntry[];
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -18,7 +18,7 @@
   | { readonly phase: 'draining'; readonly since: Millis }
   | { readonly phase: 'ended' };
 
-/** Clock and drain time, and views of the other children. */
+/** Dependencies of the decisions on admission and drain. */
 export interface GateInputs {
   readonly now: () => Millis;
   readonly drainMs: Millis;
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -93,9 +93,9 @@
   readonly replyAnswer: (callId: CallId, answer: ServiceAnswer) => void;
   readonly replyFailure: (callId: CallId, failure: Failure) => void;
   readonly replyFence: (callId: CallId, result: FenceResult, answer: ServiceAnswer | null) => void;
-  /** Fails the open streams after a restart of the child that held their state. */
+  /** Fails the open streams after a restart of the child that owned their state. */
   readonly failReaders: () => void;
-  /** Fails the open service calls after a restart of the child that held their state. */
+  /** Fails the open service calls after a restart of the child that owned their state. */
   readonly failCalls: () => void;
   readonly listen: (host: string, port: number) => Promise<string>;
   readonly close: () => Promise<void>;
@@ -134,7 +134,8 @@
         yield event;
         if (event.event.case !== 'chunks') continue;
         const { firstNumber, choices } = event.event.value;
-        // The transport has accepted the message, so the buffer may drop these chunks and send more.
+        // The transport has accepted the message, so the buffer may drop these chunks and send
+        // more.
         const nextNumber = firstNumber + choices.length;
         post({ to: 'streams', kind: 'reader-took', callId, nextNumber });
       }
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -11,6 +11,7 @@
 import type { StoredGeneration } from '../../wire/storedGeneration.js';
 import type { GenerateCall } from '../types.js';
 
+/** Dependencies of the functions that record answers under their nonce. */
 export interface AnswerRecordInputs {
   readonly now: () => Millis;
   /** Table shared with the calls to plain services, so that both are fenced in the same way. */
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -19,6 +19,7 @@
 } from '../../decisions/streams/bufferTypes.js';
 import type { CallId, EndpointEffect, GenerateCall, StreamsEvent, WorkResult } from '../types.js';
 
+/** Dependencies of the decisions on generations and their readers. */
 export interface StreamsInputs extends AnswerRecordInputs {
   readonly limits: BufferLimits;
   readonly choosePriority: (call: GenerateCall) => number;
--- a/packages/endpoint/streams/types.ts
+++ b/packages/endpoint/streams/types.ts
@@ -46,7 +46,7 @@
   readonly callIds: Map<string, CallId>;
   /**
    * Generations whose resume was refused, with the time of the refusal. Their entry daemon may have
-   * started them elsewhere, so a start that arrives late must be refused as well.
+   * started them elsewhere, so a start that arrives late must be refused too.
    */
   readonly refusedResumes: Map<GenerationId, Millis>;
   /** Number of generations that are running on the engine. */
--- a/packages/platform/client/types.ts
+++ b/packages/platform/client/types.ts
@@ -7,7 +7,7 @@
 export interface ClientOptions {
   /** Base URL of the service, such as `http://127.0.0.1:4100`. */
   readonly baseUrl: string;
-  /** Timeout of one request; a long poll adds its own wait. */
+  /** Timeout of one request; the wait of a long poll is added to it. */
   readonly timeoutMs: Millis;
 }
 
--- a/packages/settings/settings.test.ts
+++ b/packages/settings/settings.test.ts
@@ -71,7 +71,7 @@
   );
 });
 
-// Guards against validation with the wrong schema when no kind is given.
+// Guards against validation with the wrong schema when no kind is specified.
 test('the kind of a settings file is determined from its fields', (t) => {
   t.is(findSettingsKind(ENTRY).unwrap(), 'entry');
   t.is(findSettingsKind(ENDPOINT).unwrap(), 'endpoint');
--- a/packages/wire/resumeTicket.ts
+++ b/packages/wire/resumeTicket.ts
@@ -14,6 +14,7 @@
   readonly expiresAt: Millis;
 }
 
+/** Verified ticket, with the position from which its stream resumes. */
 export interface ResumePoint {
   readonly ticket: ResumeTicket;
   /** Number of the last chunk that the caller received. */
