--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -88,6 +88,7 @@
   return { resumed, resume };
 };
 
+/** Adapter that calls the endpoint; results are posted as events. */
 export interface EngineClient {
   readonly fetchHealth: () => void;
   readonly fetchLoad: () => void;
@@ -207,7 +208,7 @@
     post({ to: 'streams', kind: 'engine-finished', generationId, usage: progress.usage });
   };
 
-  const generate = async (
+  const runGeneration = async (
     generationId: GenerationId,
     call: GenerateCall,
     priority: number,
@@ -287,7 +288,8 @@
     fetchHealth,
     fetchLoad,
     fetchCacheEvents,
-    startGeneration: (generationId, call, priority) => void generate(generationId, call, priority),
+    startGeneration: (generationId, call, priority) =>
+      void runGeneration(generationId, call, priority),
     cancelGeneration,
     cancelAll: () => {
       for (const generationId of [...running.keys()]) cancelGeneration(generationId);
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -11,6 +11,7 @@
 import type { StoredGeneration } from '../../wire/storedGeneration.js';
 import type { GenerateCall } from '../types.js';
 
+/** Dependencies of the functions that record answers under their nonce. */
 export interface AnswerRecordInputs {
   readonly now: () => Millis;
   /** Table shared with the calls to plain services, so that both are fenced in the same way. */
@@ -89,8 +90,8 @@
 };
 
 /**
- * Stores the result of a generation for requests that repeat its key. If the engine certainly did
- * not run the generation, its nonce is fenced instead.
+ * Stores the result of a generation for later requests with the same key. If the engine certainly
+ * did not run the generation, its nonce is fenced instead.
  *
  * @param generation - generation, with its record if it has one
  * @param end - how the generation ended
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -50,8 +50,8 @@
   policy: ClassPolicy,
   inputs: RequestsInputs,
 ): KeyedState => {
-  // A call without a key is not recognised when the caller repeats it, but its own attempts still
-  // run at most once.
+  // Without a key, a retry by the caller cannot be recognised as a duplicate. A generated key still
+  // ensures that the attempts of this request run at most once.
   const key = request.key ?? inputs.createId();
   const base = createRequestBase(policy, inputs);
   return {
@@ -126,7 +126,11 @@
 ): RequestStep => {
   const url = inputs.findHeartbeat(effect.endpoint)?.rpcUrl;
   if (url === undefined || state.placement === null) {
-    const failure = createFailure('not-run', 'no-endpoint', 'the endpoint has no address any more');
+    const failure = createFailure(
+      'not-run',
+      'no-endpoint',
+      'the address of the endpoint is no longer known',
+    );
     const result = { kind: 'refused', failure } as const;
     return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
   }
@@ -137,7 +141,7 @@
     incarnation: effect.incarnation,
   };
   const next: KeyedState = { ...state, placement, attempts: state.attempts + 1 };
-  const active: EntryEffect = {
+  const logged: EntryEffect = {
     kind: 'log',
     name: 'intent-active',
     details: { requestId: state.request.requestId, data: { nonce: effect.nonce } },
@@ -146,11 +150,11 @@
   switch (request.kind) {
     case 'service': {
       const calls = buildCallEffects(next, request, placement, effect.nonce, inputs);
-      return toStep<KeyedState, EntryEffect>(next, active, ...calls);
+      return toStep<KeyedState, EntryEffect>(next, logged, ...calls);
     }
     case 'generation': {
       const step = startKeyedStream(next, request, placement, effect.nonce, inputs);
-      return toStep<KeyedState, EntryEffect>(step.state, active, ...step.effects);
+      return toStep<KeyedState, EntryEffect>(step.state, logged, ...step.effects);
     }
     default:
       return assertNever(request);
@@ -360,8 +364,8 @@
 ): RequestStep => applyStreamStep(state, applyKeyedLink(state, completion, inputs), inputs);
 
 /**
- * Applies an event of the stream that does not come from its link, to a generation that runs at most
- * once.
+ * Applies an event of the stream that does not come from its link, to a generation that runs at
+ * most once.
  *
  * @param state - keyed request
  * @param event - event of its stream
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -21,9 +21,9 @@
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
 import {
-  drainQueue,
+  placeWaitingRequests,
   handleQueueEffects,
-  placeWaiting,
+  placeRequest,
   storeStep,
   updateAll,
   updateRequest,
@@ -82,8 +82,8 @@
 ): RequestStep => {
   switch (request.kind) {
     case 'generation':
-      // Without a key, a repeated request cannot be recognised, and an attempt that may have run is
-      // never followed by another one, so an intent would add no protection.
+      // Without a key, a retry by the caller cannot be recognised as a duplicate. An attempt that
+      // may have run is never retried here either, so an intent would add no protection.
       return policy.repeat === 'never' && request.key !== null
         ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
         : placeGeneration(createGeneration(request, policy, inputs), inputs);
@@ -197,7 +197,7 @@
   );
 };
 
-/** Applies an event to the stream of a request; null for a request without one. */
+/** Applies an event to the stream of a request; returns null for a request without a stream. */
 const applyStreamEvent = (
   state: RequestState,
   event: DeliveryEvent,
@@ -215,8 +215,8 @@
   }
 };
 
-/** Hands the running streams over to other entry daemons: their callers resume them there. */
-const transferStreams = (context: RequestsContext): Effects => {
+/** Hands over the running streams: their callers resume them at other entry daemons. */
+const drainStreams = (context: RequestsContext): Effects => {
   context.state.phase = 'handing-over';
   return updateAll(context, (state) =>
     applyStreamEvent(state, { kind: 'drain-ended' }, context.inputs),
@@ -224,7 +224,7 @@
 };
 
 const retryRequest = (state: RequestState, inputs: RequestsInputs): RequestStep =>
-  state.waiting === 'for-retry' ? placeWaiting({ ...state, waiting: 'no' }, inputs) : toStep(state);
+  state.waiting === 'for-retry' ? placeRequest({ ...state, waiting: 'no' }, inputs) : toStep(state);
 
 const handleConfiguration = (context: RequestsContext): Effects => {
   const { inputs } = context;
@@ -232,14 +232,18 @@
   for (const [fingerprint, expiresAt] of inputs.getQuarantined()) {
     inputs.suspicions.apply({ kind: 'quarantine-record', fingerprint, expiresAt, now });
   }
-  return drainQueue(context);
+  return placeWaitingRequests(context);
 };
 
 const handleTick = (event: RequestsEvent, context: RequestsContext): Effects => {
   const now = context.inputs.now();
   context.inputs.suspicions.apply({ kind: 'tick', now });
   const expired = handleQueueEffects(context, context.state.queue.apply({ kind: 'tick', now }));
-  return [...expired, ...drainQueue(context), { kind: 'schedule', delayMs: TICK_MS, event }];
+  return [
+    ...expired,
+    ...placeWaitingRequests(context),
+    { kind: 'schedule', delayMs: TICK_MS, event },
+  ];
 };
 
 const decideRequests = (event: RequestsEvent, context: RequestsContext): Effects => {
@@ -255,11 +259,11 @@
       );
     case 'resume-due': {
       const { requestId, generationId, link } = event;
-      const due = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
+      const timerEvent = { kind: 'resume-timer', generationId, link, now: inputs.now() } as const;
       return updateRequest(
         context,
         requestId,
-        (state) => applyStreamEvent(state, due, inputs) ?? toStep(state),
+        (state) => applyStreamEvent(state, timerEvent, inputs) ?? toStep(state),
       );
     }
     case 'intent-timer': {
@@ -287,20 +291,20 @@
       return handleConfiguration(context);
     case 'capacity-changed':
       inputs.placements.applyLoadReport(event.endpoint, event.reportedAt);
-      return drainQueue(context);
+      return placeWaitingRequests(context);
     case 'endpoint-lost':
       return handleEndpointLost(event, context);
     case 'tick':
       return handleTick(event, context);
     case 'drain-ended':
-      return transferStreams(context);
+      return drainStreams(context);
     default:
       return assertNever(event);
   }
 };
 
 /**
- * Creates the logic of the `requests` child, which runs one state machine per request.
+ * Creates the decision logic of the `requests` child, which runs one state machine per request.
  *
  * @param inputs - endpoints, classes, estimates and the intent log
  * @returns the child's logic
--- a/packages/wire/resumeTicket.ts
+++ b/packages/wire/resumeTicket.ts
@@ -14,6 +14,7 @@
   readonly expiresAt: Millis;
 }
 
+/** Verified ticket, with the position from which its stream resumes. */
 export interface ResumePoint {
   readonly ticket: ResumeTicket;
   /** Number of the last chunk that the caller received. */
@@ -33,7 +34,7 @@
 /**
  * Signs a resume ticket.
  *
- * The ticket makes a table of streams shared by all entry daemons unnecessary.
+ * With tickets, the entry daemons need no shared table of streams.
  *
  * @param ticket - content of the ticket
  * @param key - secret shared by all entry daemons
