Use the terms of topological sorts and memory in the merge and the stand-ins

The sort placed nodes and walked edges; it now removes nodes and follows a path. Held and kept tokens and events are used tokens and recorded events. The tables of waiting requests and answers are registries, and the comment of the call faults says that their remaining calls are decremented.

--- a/packages/standins/common/pendingRequests.ts
+++ b/packages/standins/common/pendingRequests.ts
@@ -29,9 +29,9 @@
 }
 
 /**
- * Creates the register of requests that wait for an answer.
+ * Creates the registry of requests that wait for an answer.
  *
- * @returns the empty register
+ * @returns the empty registry
  */
 export const createPendingRequests = (): PendingRequests => {
   const pending = new Map<ReplyId, PendingRequest>();
--- a/packages/standins/engine/engineParts.test.ts
+++ b/packages/standins/engine/engineParts.test.ts
@@ -48,8 +48,8 @@
       { requestId: 'r', className: undefined },
       DEFAULT_ENGINE_SETTINGS,
     );
-  const cut = build({ max_tokens: 5, metadata: { target_tokens: '9' } });
-  t.deepEqual([cut.targetTokens, cut.finishReason], [5, 'length']);
+  const capped = build({ max_tokens: 5, metadata: { target_tokens: '9' } });
+  t.deepEqual([capped.targetTokens, capped.finishReason], [5, 'length']);
   const whole = build({ max_tokens: 50, metadata: { target_tokens: '9' }, priority: 3 });
   t.deepEqual([whole.targetTokens, whole.finishReason, whole.priority], [9, 'stop', 3]);
 });
--- a/packages/standins/engine/outputs.ts
+++ b/packages/standins/engine/outputs.ts
@@ -54,11 +54,11 @@
 };
 
 /**
- * Creates the register of answers in progress. Answers are written to the raw response, because
+ * Creates the registry of answers in progress. Answers are written to the raw response, because
  * tokens are produced by effects of the event loop and not by the request's handler.
  *
  * @param metadata - model and version
- * @returns the empty register
+ * @returns the empty registry
  */
 export const createOutputs = (metadata: OutputMetadata): Outputs => {
   const outputs = new Map<SequenceId, Output>();
@@ -109,7 +109,7 @@
     sendJson(output, 200, body);
   };
 
-  const takeOutput = (id: SequenceId): Output | undefined => {
+  const removeOutput = (id: SequenceId): Output | undefined => {
     const output = outputs.get(id);
     outputs.delete(id);
     return output;
@@ -143,7 +143,7 @@
       }
     },
     finish: (id, reason, usage) => {
-      const output = takeOutput(id);
+      const output = removeOutput(id);
       if (output === undefined) return;
       if (output.mode.kind === 'whole') finishWhole(id, output, reason, usage);
       else
@@ -155,13 +155,13 @@
         );
     },
     refuse: (id, status, message) => {
-      const output = takeOutput(id);
+      const output = removeOutput(id);
       if (output !== undefined) {
         sendJson(output, status, { error: { message, type: 'engine_error', code: status } });
       }
     },
     break: (id) => {
-      takeOutput(id)?.reply.raw.destroy();
+      removeOutput(id)?.reply.raw.destroy();
     },
   };
 };
--- a/packages/standins/engine/scheduler/batch.test.ts
+++ b/packages/standins/engine/scheduler/batch.test.ts
@@ -53,9 +53,9 @@
       const plan = planStep(batch, settings, now);
       const result = finishStep(plan.batch, settings, now);
       batch = result.batch;
-      const held = countUsedTokens(batch.running) + countCachedTokens(batch.cache);
-      if (held > settings.memoryTokens)
-        throw new Error(`${held.toString()} tokens exceed the memory`);
+      const usedTokens = countUsedTokens(batch.running) + countCachedTokens(batch.cache);
+      if (usedTokens > settings.memoryTokens)
+        throw new Error(`${usedTokens.toString()} tokens exceed the memory`);
       for (const { id, generated } of result.emitted) {
         if (generated !== (tokens.get(id) ?? 0) + 1) throw new Error(`token of ${id} out of order`);
         tokens.set(id, generated);
--- a/packages/standins/engine/scheduler/batch.ts
+++ b/packages/standins/engine/scheduler/batch.ts
@@ -131,17 +131,21 @@
   settings: BatchSettings,
 ): StepDraft => {
   const { batch } = draft;
-  const held = sequence.promptTokens + sequence.generated;
+  const usedTokens = sequence.promptTokens + sequence.generated;
   const cachedTokens = Math.min(
     findCachedTokens(batch.cache, sequence.prefix),
     sequence.promptTokens,
   );
-  const admitted = { ...sequence, cachedTokens, prefillLeft: Math.max(1, held - cachedTokens) };
+  const admitted = {
+    ...sequence,
+    cachedTokens,
+    prefillLeft: Math.max(1, usedTokens - cachedTokens),
+  };
   const recent = {
     ...draft,
     batch: { ...batch, cache: updateRecency(batch.cache, sequence.prefix) },
   };
-  const needed = held + batch.running.length + 1;
+  const needed = usedTokens + batch.running.length + 1;
   const freed = releaseCache(recent, countMissingTokens(batch, needed, settings.memoryTokens));
   return {
     ...freed,
@@ -159,7 +163,7 @@
   return countUsedTokens(batch.running) + needed <= settings.memoryTokens;
 };
 
-/** Admits waiting sequences in order; preempts sequences of lower priority to make room. */
+/** Admits waiting sequences in order; preempts sequences of lower priority to free memory. */
 const admitWaiting = (start: StepDraft, settings: BatchSettings, now: Millis): StepDraft => {
   let draft = start;
   for (;;) {
--- a/packages/standins/engine/scheduler/cacheLog.ts
+++ b/packages/standins/engine/scheduler/cacheLog.ts
@@ -39,9 +39,9 @@
     ...change,
     at: now,
   }));
-  const kept = numbered.filter(() => draw() >= lossShare);
+  const recorded = numbered.filter(() => draw() >= lossShare);
   return {
-    events: [...log.events, ...kept].slice(-MAX_CACHE_EVENTS),
+    events: [...log.events, ...recorded].slice(-MAX_CACHE_EVENTS),
     nextSequence: log.nextSequence + changes.length,
   };
 };
--- a/packages/standins/engine/scheduler/stepping.ts
+++ b/packages/standins/engine/scheduler/stepping.ts
@@ -16,13 +16,13 @@
 /**
  * Finds the instant at which the next step starts: the planned end of the last one, so that timer
  * delays don't accumulate. A delay of `MAX_TIMER_LAG_MS` or more, as after a pause of the process,
- * is not made up for.
+ * is not compensated.
  */
 const findStepStart = ({ phase }: SchedulerState, now: Millis): Millis =>
   phase.kind === 'stepping' && now - phase.dueAt < MAX_TIMER_LAG_MS ? phase.dueAt : now;
 
 /**
- * Starts the next step, or goes idle if no sequence runs.
+ * Starts the next step, or becomes idle if no sequence runs.
  *
  * @param state - state of the engine between two steps
  * @param environment - time and random numbers
--- a/packages/standins/ledger/service/serviceChild.ts
+++ b/packages/standins/ledger/service/serviceChild.ts
@@ -29,7 +29,7 @@
 /** Exclusive upper limit of the balance of an account, in cents. */
 const BALANCE_LIMIT_CENTS = 100_000_000;
 
-/** Counts one call off each fault and removes the faults with no calls left. */
+/** Decrements the remaining calls of each fault and removes the faults with none left. */
 const countDownFaults = (faults: readonly CallFault[]): readonly CallFault[] =>
   faults.map((fault) => ({ ...fault, calls: fault.calls - 1 })).filter(({ calls }) => calls > 0);
 
--- a/packages/standins/platform/platform.test.ts
+++ b/packages/standins/platform/platform.test.ts
@@ -136,10 +136,10 @@
   };
   const put = child.decide(child.init().state, { kind: 'put-instance', reply: 1, instance }).state;
   clock.advance(400);
-  const gone = child.decide(put, { kind: 'delete-instance', reply: 2, id: 'e1' }).state;
-  t.deepEqual(findVisibleInstances(gone, 1_499), []);
-  t.deepEqual(findVisibleInstances(gone, 1_500), [instance]);
-  t.deepEqual(findVisibleInstances(gone, 1_900), []);
+  const deleted = child.decide(put, { kind: 'delete-instance', reply: 2, id: 'e1' }).state;
+  t.deepEqual(findVisibleInstances(deleted, 1_499), []);
+  t.deepEqual(findVisibleInstances(deleted, 1_500), [instance]);
+  t.deepEqual(findVisibleInstances(deleted, 1_900), []);
 });
 
 // Guards against routes that differ from section 7 of the design page.
--- a/packages/timeline/order.ts
+++ b/packages/timeline/order.ts
@@ -9,12 +9,12 @@
   sequence: 3,
 };
 
-/** Remaining edges and placed nodes of a topological sort, updated in place. */
+/** Remaining edges and removed nodes of a topological sort, updated in place. */
 interface SortState {
   readonly outgoing: readonly Edge[][];
   readonly incoming: readonly Set<Edge>[];
   readonly ready: Set<number>;
-  readonly placed: Set<number>;
+  readonly removed: Set<number>;
 }
 
 const createSortState = (order: PartialOrder): SortState => {
@@ -28,28 +28,28 @@
   incoming.forEach((edges, node) => {
     if (edges.size === 0) ready.add(node);
   });
-  return { outgoing, incoming, ready, placed: new Set() };
+  return { outgoing, incoming, ready, removed: new Set() };
 };
 
 const removeEdge = (state: SortState, edge: Edge): void => {
   const edges = state.incoming[edge.to];
   if (edges === undefined || !edges.delete(edge)) return;
-  if (edges.size === 0 && !state.placed.has(edge.to)) state.ready.add(edge.to);
+  if (edges.size === 0 && !state.removed.has(edge.to)) state.ready.add(edge.to);
 };
 
 /** Follows incoming edges backwards from a blocked node until a node repeats. */
 const findCycle = (state: SortState, start: number): readonly Edge[] => {
-  const walked: Edge[] = [];
+  const path: Edge[] = [];
   const firstSteps = new Map<number, number>();
   let node = start;
   while (!firstSteps.has(node)) {
-    firstSteps.set(node, walked.length);
+    firstSteps.set(node, path.length);
     const [edge] = state.incoming[node] ?? [];
     if (edge === undefined) return [];
-    walked.push(edge);
+    path.push(edge);
     node = edge.from;
   }
-  return walked.slice(firstSteps.get(node));
+  return path.slice(firstSteps.get(node));
 };
 
 /** Removes the weakest edge of a cycle that blocks a node. */
@@ -63,9 +63,9 @@
   removeEdge(state, weakest);
 };
 
-const placeNode = (state: SortState, node: number): void => {
+const removeNode = (state: SortState, node: number): void => {
   state.ready.delete(node);
-  state.placed.add(node);
+  state.removed.add(node);
   for (const edge of state.outgoing[node] ?? []) removeEdge(state, edge);
 };
 
@@ -103,7 +103,7 @@
       removeWeakestEdge(state, blocked);
       continue;
     }
-    placeNode(state, node);
+    removeNode(state, node);
     sorted.push(node);
   }
   return sorted;
--- a/packages/timeline/renderHtml.ts
+++ b/packages/timeline/renderHtml.ts
@@ -7,7 +7,7 @@
 const LANE_START_PX = 24;
 /** Height of the row with the process names, above the first event. */
 const HEADER_HEIGHT_PX = 48;
-/** Longest label beside an event; longer ones are cut, and the details show the full text. */
+/** Longest label beside an event; longer ones are truncated, and the details show the full text. */
 const MAX_LABEL_CHARACTERS = 34;
 
 const ESCAPES: Readonly<Record<string, string>> = {
