Name retries and guarantees of the load tool consistently

A broken call was called again in one place and retried in another; the event is now 'retried' and the record lists retryKinds. Violated promises are violated guarantees, as in the command line. Assignments in turn are round-robin.

--- a/packages/load/client/caller.ts
+++ b/packages/load/client/caller.ts
@@ -48,7 +48,7 @@
   return headers;
 };
 
-/** Picks the entry daemon of a call in turn, like a load balancer without health checks. */
+/** Picks the entry daemon of a call round-robin, like a load balancer without health checks. */
 const pickEntry = (urls: readonly string[], number: number): string =>
   urls[number % urls.length] as string;
 
@@ -95,7 +95,7 @@
       return;
     }
     const retryKind = ticket === NO_TICKET ? 'sent-again' : 'resumed';
-    post({ to: 'requests', kind: 'called-again', number, retryKind });
+    post({ to: 'requests', kind: 'retried', number, retryKind });
     await waitFor(RETRY_BACKOFF_STEP_MS * calls);
   }
 };
--- a/packages/load/load.test.ts
+++ b/packages/load/load.test.ts
@@ -163,7 +163,7 @@
 // Guards against verdicts that are trusted without a check of the executions.
 test('executions are compared with the verdict that the caller received', (t) => {
   const record = (outcome: RequestRecord['outcome']) =>
-    ({ outcome, calledAgain: [] }) as unknown as RequestRecord;
+    ({ outcome, retryKinds: [] }) as unknown as RequestRecord;
   const failed = (verdict: 'not-run' | 'may-have-run' | 'ran') =>
     record({ kind: 'failed', verdict, code: 'x', status: 500 });
   t.is(checkExecutions(failed('may-have-run'), 2), 'ran-twice');
@@ -272,7 +272,7 @@
   for (const path of paths.slice(1)) t.regex(readFileSync(path, 'utf8'), /^<svg/);
 });
 
-// Guards against a violated promise that is reported only as a finished request.
+// Guards against a violated guarantee that is reported only as a finished request.
 test('duplicate tokens and duplicate executions are violations', async (t) => {
   for (const [fault, kind] of [
     ['double-tokens', 'duplicate-token'],
--- a/packages/load/plots/plotSpecs.ts
+++ b/packages/load/plots/plotSpecs.ts
@@ -27,7 +27,7 @@
 
 const PERCENTILES = ['p50', 'p95', 'p99', 'p999'] as const satisfies readonly (keyof Percentiles)[];
 
-const SCHEMA = 'https://vega.github.io/schema/vega-lite/v5.json';
+const VEGA_LITE_SCHEMA_URL = 'https://vega.github.io/schema/vega-lite/v5.json';
 
 const FACET_WIDTH = 320;
 const FACET_HEIGHT = 160;
@@ -50,7 +50,7 @@
   );
 
 const buildPercentileSpec = (title: string, values: Rows): TopLevelSpec => ({
-  $schema: SCHEMA,
+  $schema: VEGA_LITE_SCHEMA_URL,
   title,
   data: { values: [...values] },
   facet: { field: 'className', type: 'nominal', title: 'class' },
@@ -69,7 +69,7 @@
 });
 
 const buildBarSpec = (title: string, values: Rows, field: string, unit: string): TopLevelSpec => ({
-  $schema: SCHEMA,
+  $schema: VEGA_LITE_SCHEMA_URL,
   title,
   data: { values: [...values] },
   width: FACET_WIDTH,
@@ -90,7 +90,7 @@
   field: string,
   series: string,
 ): TopLevelSpec => ({
-  $schema: SCHEMA,
+  $schema: VEGA_LITE_SCHEMA_URL,
   title,
   data: { values: [...values] },
   facet: { row: { field: 'policy', type: 'nominal' } },
--- a/packages/load/requests/executionCheck.ts
+++ b/packages/load/requests/executionCheck.ts
@@ -64,7 +64,7 @@
   record: RequestRecord,
   count: number,
 ): ExecutionViolation | 'none' => {
-  const { outcome, calledAgain } = record;
+  const { outcome, retryKinds } = record;
   if (outcome.kind !== 'failed' || outcome.verdict !== 'not-run') return 'none';
-  return count === 0 || calledAgain.length > 0 ? 'none' : 'not-run-but-ran';
+  return count === 0 || retryKinds.length > 0 ? 'none' : 'not-run-but-ran';
 };
--- a/packages/load/requests/measures.ts
+++ b/packages/load/requests/measures.ts
@@ -16,7 +16,7 @@
 }
 
 /** Latencies that are measured for each class. */
-export type MeasureName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
+export type LatencyName = 'first-token' | 'token-gap' | 'whole-answer' | 'send-delay';
 
 /** Totals of one class. */
 export interface ClassTotals {
@@ -32,10 +32,10 @@
  * gaps, and only the requests child uses them.
  */
 export interface Measures {
-  readonly record: (className: ClassName, name: MeasureName, ms: Millis) => void;
+  readonly record: (className: ClassName, name: LatencyName, ms: Millis) => void;
   readonly addToken: (className: ClassName) => void;
   readonly addStall: (className: ClassName, ms: Millis) => void;
-  readonly getPercentiles: (className: ClassName, name: MeasureName) => Percentiles;
+  readonly getPercentiles: (className: ClassName, name: LatencyName) => Percentiles;
   readonly getTotals: (className: ClassName) => ClassTotals;
 }
 
--- a/packages/load/requests/requestsChild.ts
+++ b/packages/load/requests/requestsChild.ts
@@ -133,7 +133,7 @@
   if (record?.outcome.kind !== 'open') return toStep(state);
   recordLatencies(record, event.outcome, event.at, state, context);
   const violations = listViolations(record, event.outcome, context);
-  // The answer has been checked above, so the record drops it and keeps only the outcome.
+  // The answer has been checked above, so the record keeps only the outcome.
   const outcome: Outcome =
     event.outcome.kind === 'finished' ? { kind: 'finished', answer: null } : event.outcome;
   state.table.set(event.number, { ...record, outcome, lastAt: event.at });
@@ -156,7 +156,7 @@
     check: EMPTY_ANSWER,
     firstAt: 'none',
     lastAt: at,
-    calledAgain: [],
+    retryKinds: [],
     outcome: { kind: 'open' },
   };
   state.table.set(arrival.number, record);
@@ -193,11 +193,11 @@
       return openRequest(state, event, context);
     case 'text':
       return handleText(state, event, context);
-    case 'called-again': {
+    case 'retried': {
       const record = state.table.get(event.number);
       if (record === undefined) return toStep(state);
-      const calledAgain = [...record.calledAgain, event.retryKind];
-      state.table.set(event.number, { ...record, calledAgain });
+      const retryKinds = [...record.retryKinds, event.retryKind];
+      state.table.set(event.number, { ...record, retryKinds });
       return toStep(state);
     }
     case 'ended':
--- a/packages/load/requests/types.ts
+++ b/packages/load/requests/types.ts
@@ -4,7 +4,7 @@
 import type { RetryKind, Outcome } from '../types.js';
 import type { Millis } from '../../core/clock.js';
 
-/** A violated promise of the system. */
+/** A violated guarantee of the system. */
 export interface Violation {
   readonly kind:
     | 'duplicate-token'
@@ -32,7 +32,7 @@
   readonly check: AnswerCheck;
   readonly firstAt: Millis | 'none';
   readonly lastAt: Millis;
-  readonly calledAgain: readonly RetryKind[];
+  readonly retryKinds: readonly RetryKind[];
   readonly outcome: Outcome | { readonly kind: 'open' };
 }
 
--- a/packages/load/results/buildResult.ts
+++ b/packages/load/results/buildResult.ts
@@ -36,7 +36,7 @@
   const { name, kind } = loadClass;
   const count = (outcomeKind: RequestRecord['outcome']['kind']): number =>
     records.filter(({ outcome }) => outcome.kind === outcomeKind).length;
-  const retries = records.flatMap(({ calledAgain }) => calledAgain);
+  const retries = records.flatMap(({ retryKinds }) => retryKinds);
   return {
     className: name,
     kind,
--- a/packages/load/runLoad.ts
+++ b/packages/load/runLoad.ts
@@ -166,7 +166,7 @@
 };
 
 /**
- * Runs a scenario under each of its policies in turn, each on a fresh cluster.
+ * Runs a scenario under each of its policies, one after another, each on a fresh cluster.
  *
  * @param scenario - validated scenario
  * @param startCluster - starts a cluster with the given policy
--- a/packages/load/scenario/schema.ts
+++ b/packages/load/scenario/schema.ts
@@ -49,7 +49,7 @@
 
 const DEPLOYMENT_SCHEMA = z.strictObject({
   dataCentres: z.array(DATA_CENTRE_SCHEMA).min(1),
-  /** Number of entry daemons, assigned to the data centres in turn. */
+  /** Number of entry daemons, assigned round-robin to the data centres. */
   entries: COUNT,
   engines: z.array(ENGINE_SCHEMA).min(1),
   services: z.array(SERVICE_SCHEMA).default([]),
@@ -70,7 +70,7 @@
   overflowProbability: z.number().min(0).max(1).optional(),
 });
 
-const CLASS_BASE = {
+const COMMON_CLASS_FIELDS = {
   name: NAME,
   arrivalsPerSecond: RATE,
   targets: TARGETS_SCHEMA,
@@ -79,7 +79,7 @@
 const CLASS_SCHEMA = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('generation'),
-    ...CLASS_BASE,
+    ...COMMON_CLASS_FIELDS,
     model: NAME,
     route: NAME.optional(),
     prompt: LENGTH_DISTRIBUTION_SCHEMA,
@@ -90,14 +90,14 @@
   /** Idempotent call `GET /services/{service}/balances/{account}`. */
   z.strictObject({
     kind: z.literal('lookup'),
-    ...CLASS_BASE,
+    ...COMMON_CLASS_FIELDS,
     service: NAME,
     accounts: COUNT.default(1_000),
   }),
   /** Non-repeatable call `POST /services/{service}/{route}`, which must run at most once. */
   z.strictObject({
     kind: z.literal('execution'),
-    ...CLASS_BASE,
+    ...COMMON_CLASS_FIELDS,
     service: NAME,
     route: z.enum(['sweeps', 'pickups', 'credits']),
   }),
--- a/packages/load/types.ts
+++ b/packages/load/types.ts
@@ -52,7 +52,7 @@
       readonly at: Millis;
       readonly text: string;
     }
-  | { readonly kind: 'called-again'; readonly number: number; readonly retryKind: RetryKind }
+  | { readonly kind: 'retried'; readonly number: number; readonly retryKind: RetryKind }
   | {
       readonly kind: 'ended';
       readonly number: number;
