Call the last event of a stream its end marker in the benches

The benches said end mark where the load tool says end marker; both say end marker now, also in the messages of truncated streams. Vague constants have the names of what they match or measure, and the units of two constants are spelled as in the other benches.

--- a/packages/bench/callers/callersChild.test.ts
+++ b/packages/bench/callers/callersChild.test.ts
@@ -28,9 +28,9 @@
   return { clock, decide, receive, getState: () => state };
 };
 
-// Guards against a gap that is lost when tokens arrive together, and against an end mark that is
+// Guards against a gap that is lost when tokens arrive together, and against an end marker that is
 // counted as a token.
-test('tokens that arrive together are counted one by one, and the end mark is not counted', (t) => {
+test('tokens that arrive together are counted one by one, and the end marker is not counted', (t) => {
   const { clock, receive, getState } = startCallers();
   clock.advance(40);
   receive(1);
--- a/packages/bench/client/eventCounter.test.ts
+++ b/packages/bench/client/eventCounter.test.ts
@@ -16,7 +16,7 @@
         .slice(1)
         .map((end, index) => counter.count(stream.subarray(bounds[index], end)))
         .reduce((left, right) => left + right, 0);
-      return counted === 4 && counter.hasEndMark();
+      return counted === 4 && counter.hasEndMarker();
     }),
     { seed: 11, numRuns: 2_000 },
   );
@@ -24,8 +24,8 @@
 });
 
 // Guards against a truncated answer that counts as a complete one.
-test('a stream without its end mark is recognised as incomplete', (t) => {
+test('a stream without its end marker is recognised as incomplete', (t) => {
   const counter = createEventCounter();
   counter.count(Buffer.from('data: {"n":0}\n\nevent: error\ndata: {}\n\n'));
-  t.false(counter.hasEndMark());
+  t.false(counter.hasEndMarker());
 });
--- a/packages/bench/client/eventCounter.ts
+++ b/packages/bench/client/eventCounter.ts
@@ -2,13 +2,13 @@
 export interface EventCounter {
   /** Counts the events that end within the next bytes of the stream. */
   readonly count: (bytes: Buffer) => number;
-  /** Reports whether the bytes so far end with the end mark. */
-  readonly hasEndMark: () => boolean;
+  /** Reports whether the bytes so far end with the end marker. */
+  readonly hasEndMarker: () => boolean;
 }
 
 const NEWLINE = 0x0a;
 const EVENT_END = Buffer.from('\n\n');
-const END_MARK = 'data: [DONE]\n\n';
+const END_MARKER = 'data: [DONE]\n\n';
 
 /**
  * Creates the counter of one stream. Each event must end with two newlines, as those of all servers
@@ -17,7 +17,7 @@
  * @returns a counter at the start of a stream
  */
 export const createEventCounter = (): EventCounter => {
-  /** Last bytes of the stream, as the end mark may be split between two reads. */
+  /** Last bytes of the stream, as the end marker may be split between two reads. */
   let tail: Buffer = Buffer.alloc(0);
   /** `line-end` after a newline that does not end an event; the next byte may then end it. */
   let lastByte: 'line-end' | 'other' = 'other';
@@ -39,11 +39,11 @@
       // A newline that already ended an event does not count towards the end of the next one.
       lastByte = from < bytes.length && bytes.at(-1) === NEWLINE ? 'line-end' : 'other';
       tail =
-        bytes.length >= END_MARK.length
-          ? bytes.subarray(-END_MARK.length)
-          : Buffer.concat([tail, bytes]).subarray(-END_MARK.length);
+        bytes.length >= END_MARKER.length
+          ? bytes.subarray(-END_MARKER.length)
+          : Buffer.concat([tail, bytes]).subarray(-END_MARKER.length);
       return events;
     },
-    hasEndMark: () => tail.toString('latin1') === END_MARK,
+    hasEndMarker: () => tail.toString('latin1') === END_MARKER,
   };
 };
--- a/packages/bench/client/streamClient.ts
+++ b/packages/bench/client/streamClient.ts
@@ -6,7 +6,7 @@
 
 /** Servers and contents of the requests of a run. */
 export interface StreamTarget {
-  /** Callers are spread over the origins in turn. */
+  /** Callers are distributed round-robin over the origins. */
   readonly origins: readonly string[];
   readonly headers: Readonly<Record<string, string>>;
   readonly buildBody: (caller: CallerId) => string;
@@ -21,7 +21,7 @@
 
 const COMPLETIONS_PATH = '/v1/chat/completions';
 
-const MAX_ERROR_TEXT_LENGTH = 300;
+const MAX_ERROR_TEXT_CHARACTERS = 300;
 
 /**
  * Builds the handler of one answer. It reads the clock before anything else and decodes no event,
@@ -46,7 +46,7 @@
     onResponseData: (_controller, bytes) => {
       const at = now();
       if (status !== 200) {
-        errorText = `${errorText}${bytes.toString('utf8')}`.slice(0, MAX_ERROR_TEXT_LENGTH);
+        errorText = `${errorText}${bytes.toString('utf8')}`.slice(0, MAX_ERROR_TEXT_CHARACTERS);
         return;
       }
       const count = counter.count(bytes);
@@ -55,8 +55,8 @@
     onResponseEnd: () => {
       if (status !== 200)
         postEnd({ kind: 'failed', reason: `status ${status.toString()}: ${errorText}` });
-      else if (counter.hasEndMark()) postEnd({ kind: 'whole' });
-      else postEnd({ kind: 'failed', reason: 'the stream ended without its end mark' });
+      else if (counter.hasEndMarker()) postEnd({ kind: 'whole' });
+      else postEnd({ kind: 'failed', reason: 'the stream ended without its end marker' });
     },
     onResponseError: (_controller, error) => {
       postEnd({ kind: 'failed', reason: error.message });
--- a/packages/bench/measureStartup.ts
+++ b/packages/bench/measureStartup.ts
@@ -19,11 +19,11 @@
 const waitForLine = (
   input: Readable,
   child: ChildProcess,
-  isWanted: (line: string) => boolean,
+  isMatch: (line: string) => boolean,
 ): Promise<Millis> =>
   new Promise((resolve, reject) => {
     createInterface({ input }).on('line', (line) => {
-      if (isWanted(line)) resolve(performance.now());
+      if (isMatch(line)) resolve(performance.now());
     });
     child.once('error', reject);
     child.once('exit', (code) => {
--- a/packages/capacity/capacity.test.ts
+++ b/packages/capacity/capacity.test.ts
@@ -4,15 +4,15 @@
 import type { MeasureName } from './measures/catalogue.js';
 import { listExperiments, PARTS, runExperiments, toResults } from './runCapacity.js';
 
-const PAGE = new URL('../../../docs/CAPACITY.md', import.meta.url);
-const SLOPES = /<!-- slopes -->([\s\S]*?)<!-- \/slopes -->/;
-const ROW = /^\| `([^`]+)` \|/gm;
-const CITED = /`([a-z]+\.[a-z-]+)`/g;
+const PAGE_URL = new URL('../../../docs/CAPACITY.md', import.meta.url);
+const SLOPES_TABLE_PATTERN = /<!-- slopes -->([\s\S]*?)<!-- \/slopes -->/;
+const ROW_PATTERN = /^\| `([^`]+)` \|/gm;
+const CITED_MEASURE_PATTERN = /`([a-z]+\.[a-z-]+)`/g;
 
-const page = readFileSync(PAGE, 'utf8');
+const page = readFileSync(PAGE_URL, 'utf8');
 const measureNames: readonly string[] = MEASURES.map(({ name }) => name);
-const table = SLOPES.exec(page)?.[1] ?? '';
-const listedMeasures = [...table.matchAll(ROW)].map(([, name]) => name ?? '');
+const table = SLOPES_TABLE_PATTERN.exec(page)?.[1] ?? '';
+const listedMeasures = [...table.matchAll(ROW_PATTERN)].map(([, name]) => name ?? '');
 
 // Guards against a figure of the page that no run of the bench can reproduce.
 test('the table of slopes lists exactly the measures of the bench', (t) => {
@@ -22,7 +22,7 @@
 // Guards against a line of the page that is derived from a renamed or removed measure.
 test('every measure that the page cites is a measure of the bench', (t) => {
   const prefixes = new Set(measureNames.map((name) => name.split('.')[0]));
-  const citedMeasures = [...page.matchAll(CITED)]
+  const citedMeasures = [...page.matchAll(CITED_MEASURE_PATTERN)]
     .map(([, name]) => name ?? '')
     .filter((name) => prefixes.has(name.split('.')[0]));
   t.true(citedMeasures.length > measureNames.length);
--- a/packages/capacity/measures/daemons.ts
+++ b/packages/capacity/measures/daemons.ts
@@ -13,7 +13,7 @@
 /** Engines that serve the streams of one entry daemon. */
 const ENGINE_COUNT = 4;
 
-const END_MARK = 'data: [DONE]\n\n';
+const END_MARKER = 'data: [DONE]\n\n';
 
 /** Drain time of the daemons; short, as nothing is measured after the streams. */
 const DRAIN_TIMEOUT_MS = 500;
@@ -60,19 +60,21 @@
 
 /** A stream whose tokens are discarded, so that the caller uses little processor time. */
 interface OpenStream {
-  readonly ended: Promise<'done' | 'cut'>;
+  readonly ended: Promise<'done' | 'interrupted'>;
   readonly abort: () => void;
 }
 
-/** Reads a stream to its end; it is `cut` when it fails or ends without its end mark. */
-const readStream = async (body: Dispatcher.ResponseData['body']): Promise<'done' | 'cut'> => {
+/** Reads a stream to its end; it is `interrupted` when it fails or ends without its end marker. */
+const readStream = async (
+  body: Dispatcher.ResponseData['body'],
+): Promise<'done' | 'interrupted'> => {
   let tail = '';
   try {
-    for await (const bytes of body) tail = (tail + String(bytes)).slice(-END_MARK.length);
+    for await (const bytes of body) tail = (tail + String(bytes)).slice(-END_MARKER.length);
   } catch {
-    return 'cut';
+    return 'interrupted';
   }
-  return tail === END_MARK ? 'done' : 'cut';
+  return tail === END_MARKER ? 'done' : 'interrupted';
 };
 
 /** Resolves at the first token, so that an endpoint daemon admits the streams one after another. */
@@ -115,7 +117,7 @@
 const runStreams = async (cluster: Cluster, tokens: number): Promise<void> => {
   const streams = await openStreams(cluster, CONCURRENT_STREAMS, tokens);
   const outcomes = await Promise.all(streams.map(({ ended }) => ended));
-  if (outcomes.includes('cut')) throw new Error('a stream ended before its end mark');
+  if (outcomes.includes('interrupted')) throw new Error('a stream ended before its end marker');
 };
 
 const sumProcessorTime = (pids: readonly number[]): number =>
--- a/packages/capacity/measures/heartbeatSender.ts
+++ b/packages/capacity/measures/heartbeatSender.ts
@@ -5,7 +5,7 @@
 import { createEntryClient } from '../../endpoint/heartbeats/entryClient.js';
 import type { EntryClient } from '../../endpoint/heartbeats/entryClient.js';
 
-const TIMEOUT_MS = 60_000;
+const HEARTBEAT_TIMEOUT_MS = 60_000;
 
 /** Maximum number of concurrent calls; a real fleet spreads its heartbeats over the interval. */
 const MAX_IN_FLIGHT = 16;
@@ -35,7 +35,7 @@
   return {
     client: createEntryClient(
       () => ({ ...identity, model: model ?? '', service: '' }),
-      TIMEOUT_MS,
+      HEARTBEAT_TIMEOUT_MS,
       handleEvent,
     ),
     content: {
--- a/packages/capacity/measures/intents.ts
+++ b/packages/capacity/measures/intents.ts
@@ -12,6 +12,7 @@
 const NOW = 1_800_000_000_000;
 const RECORDS_PER_CHAIN = 2;
 const CARRY_AFTER_MS = 3_600_000;
+/** Placeholder as long as a SHA-256 hash in base64url. */
 const DIGEST = 'h'.repeat(43);
 
 /** Builds the records of a key whose request runs once without failure: intent and outcome. */
--- a/packages/capacity/sampling/processes.ts
+++ b/packages/capacity/sampling/processes.ts
@@ -1,7 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs';
 
-const NANOSECONDS_PER_MICROSECOND = 1_000;
-const BYTES_PER_KILOBYTE = 1_024;
+const NANOS_PER_MICRO = 1_000;
+const BYTES_PER_KB = 1_024;
 
 /**
  * Reads the processor time that the threads of a local process have used so far. Threads that have
@@ -14,7 +14,7 @@
   const tasks = `/proc/${pid.toString()}/task`;
   return readdirSync(tasks).reduce((sum, task) => {
     const [running] = readFileSync(`${tasks}/${task}/schedstat`, 'utf8').split(' ');
-    return sum + Number(running) / NANOSECONDS_PER_MICROSECOND;
+    return sum + Number(running) / NANOS_PER_MICRO;
   }, 0);
 };
 
@@ -30,5 +30,5 @@
   const kilobytes = /^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1];
   if (kilobytes === undefined)
     throw new Error(`process ${pid.toString()} has no VmRSS in its status`);
-  return Number(kilobytes) * BYTES_PER_KILOBYTE;
+  return Number(kilobytes) * BYTES_PER_KB;
 };
