Reword the whole-cluster tests and call a broken stream interrupted

The end of a stream without an end marker was 'cut', which read as an intended end; it is now 'interrupted'. Callers repeated requests in some tests and retried them in others; they retry. Daemons that had died or were gone are killed. Vague test constants say what they hold.

--- a/app/demo/steps.ts
+++ b/app/demo/steps.ts
@@ -32,7 +32,7 @@
       return 'ended';
     case 'failed':
       return `failed as ${end.problem.code} (${end.problem.verdict}): ${end.problem.detail}`;
-    case 'cut':
+    case 'interrupted':
       return `was cut off: ${end.reason}`;
     default:
       return assertNever(end);
--- a/app/remote.test.ts
+++ b/app/remote.test.ts
@@ -6,7 +6,7 @@
 import { runProgram } from './testing.js';
 import { buildEvent } from '../packages/timeline/events.fixture.js';
 
-const KEY = { CHESTNUTSPAN_OPERATOR_KEY: 'operator-key' };
+const OPERATOR_ENVIRONMENT = { CHESTNUTSPAN_OPERATOR_KEY: 'operator-key' };
 const DIRECTORY = mkdtempSync(join(tmpdir(), 'chestnutspan-cli-'));
 
 test.after.always(() => {
@@ -62,7 +62,7 @@
 
 const runOperator = async (response: CannedResponse, ...argv: readonly string[]) => {
   const operator = await startOperator(response);
-  const result = await runProgram([...argv, '--operator-url', operator.url], KEY);
+  const result = await runProgram([...argv, '--operator-url', operator.url], OPERATOR_ENVIRONMENT);
   await operator.close();
   return { ...result, posted: operator.posted };
 };
@@ -126,7 +126,10 @@
   t.is((await runOperator([422, { detail: 'no such data centre' }], ...argv)).code, 78);
   t.is((await runOperator([503, { code: 'log-unavailable' }], ...argv)).code, 75);
   t.is((await runOperator([500, {}], ...argv)).code, 70);
-  const unreachable = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1'], KEY);
+  const unreachable = await runProgram(
+    [...argv, '--operator-url', 'http://127.0.0.1:1'],
+    OPERATOR_ENVIRONMENT,
+  );
   t.is(unreachable.code, 75);
   t.regex(unreachable.stderr, /nothing was changed/);
   const withoutKey = await runProgram([...argv, '--operator-url', 'http://127.0.0.1:1']);
--- a/packages/cluster/atMostOnce.promise.test.ts
+++ b/packages/cluster/atMostOnce.promise.test.ts
@@ -30,7 +30,7 @@
 const getVerdict = ({ json }: CallerAnswer): unknown =>
   (json as { readonly verdict?: unknown } | undefined)?.verdict;
 
-/** Repeats a sweep until it is not refused as `not-run`, as a caller does. */
+/** Retries a sweep until it is not refused as `not-run`, as a caller does. */
 const sendUntilAnswered = (key: string, baseUrl: string): Promise<CallerAnswer> =>
   waitUntil(async () => {
     const answer = await sendSweep(buildCallerTarget(cluster, baseUrl), key);
@@ -102,7 +102,7 @@
   }
 });
 
-// Guards against a sweep that a caller repeats after a crash and that then moves money twice.
+// Guards against a sweep that a caller retries after a crash and that then moves money twice.
 test.serial('a sweep in flight when its entry daemon is killed runs once', async (t) => {
   const inspectionUrl = getInspectionUrl(cluster);
   const { calls: before = 0 } = await fetchStats(inspectionUrl);
@@ -119,8 +119,9 @@
   t.true((await countRuns(key)) <= 1);
 });
 
-// Guards against a daemon that, once resumed, dispatches an intent that others settled meanwhile.
-test.serial('a daemon that was frozen does not repeat a sweep that ran meanwhile', async (t) => {
+// Guards against a daemon that, once resumed, dispatches an intent that another daemon settled
+// meanwhile.
+test.serial('a daemon that was frozen does not retry a sweep that ran meanwhile', async (t) => {
   const key = createId();
   const frozen = cluster.findProcess('entry-1');
   const frozenUrl = getEntryUrl(0);
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -102,8 +102,8 @@
   body,
 });
 
-const LARGE = new Uint8Array(MAX_MESSAGE_BYTES);
-const SMALL = new Uint8Array(8);
+const OVERSIZED_BODY = new Uint8Array(MAX_MESSAGE_BYTES);
+const SMALL_BODY = new Uint8Array(8);
 
 // Guards against a message that the endpoint daemon cannot read: the entry daemon could not know
 // whether the request ran, and would suspect the endpoint of having failed.
@@ -111,15 +111,15 @@
   const { url, received } = await startEndpointSide(t);
   const { client, completed } = startEntrySide(t);
   const failure = { verdict: 'not-run', code: 'too-large' };
-  client.callEndpoint(buildCall(url, LARGE));
+  client.callEndpoint(buildCall(url, OVERSIZED_BODY));
   const call = await completed.take();
   t.like(call, { kind: 'call-failed', failure });
   t.regex(call.kind === 'call-failed' ? call.failure.message : '', /^body: 4194304 bytes/);
-  client.openGeneration(buildGeneration(url, LARGE));
+  client.openGeneration(buildGeneration(url, OVERSIZED_BODY));
   t.like(await completed.take(), { kind: 'generation-failed', failure });
   t.deepEqual(received.items, []);
   // The same connection still serves a small request.
-  client.callEndpoint(buildCall(url, SMALL));
+  client.callEndpoint(buildCall(url, SMALL_BODY));
   t.like(await received.take(), { kind: 'call-requested', call: { path: '/sweeps' } });
 });
 
@@ -127,8 +127,8 @@
 test('an answer too large for a message is reported as ran', async (t) => {
   const { server, url, received } = await startEndpointSide(t);
   const { client, completed } = startEntrySide(t);
-  const answer = { status: 201, headers: [], body: LARGE };
-  client.callEndpoint(buildCall(url, SMALL));
+  const answer = { status: 201, headers: [], body: OVERSIZED_BODY };
+  client.callEndpoint(buildCall(url, SMALL_BODY));
   const event = await received.take();
   if (event.kind === 'call-requested') server.replyAnswer(event.call.callId, answer);
   t.like(await completed.take(), { failure: { verdict: 'ran', code: 'too-large' } });
@@ -181,11 +181,11 @@
 
 const CALL_MESSAGE = toBinary(
   CallRequestSchema,
-  create(CallRequestSchema, { format: 1, method: 'POST', path: '/sweeps', body: SMALL }),
+  create(CallRequestSchema, { format: 1, method: 'POST', path: '/sweeps', body: SMALL_BODY }),
 );
 const GENERATE_MESSAGE = toBinary(
   GenerateRequestSchema,
-  create(GenerateRequestSchema, { format: 1, mode: 'start', body: SMALL }),
+  create(GenerateRequestSchema, { format: 1, mode: 'start', body: SMALL_BODY }),
 );
 
 // Guards against a truncated message that starts work, and against a message whose error breaks the
@@ -200,22 +200,25 @@
   const unary = await sendRaw(session, 'Call', 'application/proto', truncated);
   t.is(unary.status, 500);
   t.regex(unary.text, /parse binary/);
-  const tooLong = await sendRaw(
+  const oversized = await sendRaw(
     session,
     'Call',
     'application/proto',
-    new Uint8Array(LARGE.length + 1),
+    new Uint8Array(OVERSIZED_BODY.length + 1),
   );
-  t.is(tooLong.status, 429);
-  t.regex(tooLong.text, /larger than configured readMaxBytes 4194304/);
+  t.is(oversized.status, 429);
+  t.regex(oversized.text, /larger than configured readMaxBytes 4194304/);
   const { length } = GENERATE_MESSAGE;
   const type = 'application/connect+proto';
   const incomplete = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length);
   t.regex((await sendRaw(session, 'Generate', type, incomplete)).text, /incomplete envelope/);
-  const damaged = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length - 3);
-  t.regex((await sendRaw(session, 'Generate', type, damaged)).text, /parse binary/);
-  const oversized = addEnvelope(GENERATE_MESSAGE, LARGE.length + 1);
-  t.regex((await sendRaw(session, 'Generate', type, oversized)).text, /readMaxBytes 4194304/);
+  const truncatedPayload = addEnvelope(GENERATE_MESSAGE.subarray(0, length - 3), length - 3);
+  t.regex((await sendRaw(session, 'Generate', type, truncatedPayload)).text, /parse binary/);
+  const oversizedEnvelope = addEnvelope(GENERATE_MESSAGE, OVERSIZED_BODY.length + 1);
+  t.regex(
+    (await sendRaw(session, 'Generate', type, oversizedEnvelope)).text,
+    /readMaxBytes 4194304/,
+  );
   const unexpected = received.items.filter(({ kind }) => kind !== 'reader-gone');
   t.deepEqual(unexpected, []);
   void sendRaw(session, 'Call', 'application/proto', CALL_MESSAGE).catch(() => undefined);
--- a/packages/cluster/balancer/balancer.test.ts
+++ b/packages/cluster/balancer/balancer.test.ts
@@ -15,7 +15,8 @@
 const fetchName = async (url: string): Promise<string> =>
   (await fetch(url, { headers: { connection: 'close' } })).text();
 
-// Guards against connections to a dead entry daemon, and against all connections to a single one.
+// Guards against connections to an unreachable entry daemon, and against all connections to a
+// single one.
 test('connections are distributed round-robin and skip a target that refuses them', async (t) => {
   const [first, second] = [await startTarget('first'), await startTarget('second')];
   const urls = [first.url, 'http://127.0.0.1:1', second.url];
--- a/packages/cluster/callers/streamClient.ts
+++ b/packages/cluster/callers/streamClient.ts
@@ -126,7 +126,7 @@
   });
   const finish = (reason: string): void => {
     const state = watch.get();
-    watch.publish({ ...state, end: state.end ?? { kind: 'cut', reason } });
+    watch.publish({ ...state, end: state.end ?? { kind: 'interrupted', reason } });
   };
   const decoder = new TextDecoder();
   answer.body.on('data', (bytes: Buffer) => {
--- a/packages/cluster/callers/types.ts
+++ b/packages/cluster/callers/types.ts
@@ -28,7 +28,7 @@
   /** The last event was an error event. */
   | { readonly kind: 'failed'; readonly problem: ProblemFields }
   /** The connection ended before `[DONE]` or an error event; the caller may resume the stream. */
-  | { readonly kind: 'cut'; readonly reason: string };
+  | { readonly kind: 'interrupted'; readonly reason: string };
 
 /** Part of a stream that the caller has received so far. */
 export interface StreamProgress {
--- a/packages/cluster/generationOnce.promise.test.ts
+++ b/packages/cluster/generationOnce.promise.test.ts
@@ -16,7 +16,7 @@
 
 const TARGET_TOKENS = 120;
 const CHUNKS_BEFORE_FAULT = 10;
-const NEVER_REPEAT_CLASS = {
+const NON_REPEATABLE_CLASS = {
   className: 'once',
   importance: 'standard',
   answerLength: 'long',
@@ -44,7 +44,7 @@
       kind: 'targets',
       entity: 'targets',
       basedOn: null,
-      body: { classes: [NEVER_REPEAT_CLASS] },
+      body: { classes: [NON_REPEATABLE_CLASS] },
     }),
   });
   if (answer.statusCode !== 200) throw new Error(await answer.body.text());
@@ -66,7 +66,7 @@
   model: cluster.model,
   content: `board paper ${createId()}`,
   targetTokens: TARGET_TOKENS,
-  className: NEVER_REPEAT_CLASS.className,
+  className: NON_REPEATABLE_CLASS.className,
   requestId: createId(),
   ...(key === undefined ? {} : { idempotencyKey: key }),
 });
@@ -84,10 +84,10 @@
   const { end, texts } = await answer.read();
   if (end.kind === 'done') return { kind: 'answer', texts };
   if (end.kind === 'failed') return { kind: 'problem', problem: end.problem };
-  throw new Error(`the stream was cut: ${end.reason}`);
+  throw new Error(`the stream was interrupted: ${end.reason}`);
 };
 
-/** Repeats a generation until it is not refused as `not-run`, as a caller does. */
+/** Retries a generation until it is not refused as `not-run`, as a caller does. */
 const sendUntilAnswered = (baseUrl: string, options: ChatOptions): Promise<Reply> =>
   waitUntil(async () => {
     const reply = await sendGeneration(baseUrl, options);
@@ -95,13 +95,13 @@
     return isRefused ? undefined : reply;
   });
 
-// Guards against a generation that a caller repeats after a crash and that then runs twice.
+// Guards against a generation that a caller retries after a crash and that then runs twice.
 test.serial('a generation whose entry daemon is killed in mid-stream runs once', async (t) => {
   const options = buildOptions(createId());
   const interrupted = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   const received = await interrupted.waitForChunks(CHUNKS_BEFORE_FAULT);
   await cluster.findProcess('entry-1').kill('SIGKILL');
-  t.is((await interrupted.read()).end.kind, 'cut');
+  t.is((await interrupted.read()).end.kind, 'interrupted');
   const reply = await sendUntilAnswered(getEntryUrl(1), options);
   t.is(reply.kind, 'answer', JSON.stringify(reply));
   if (reply.kind !== 'answer') return;
@@ -112,8 +112,8 @@
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against a repeated idempotency key that starts a second generation at any entry daemon.
-test.serial('a repeated key gets the stored answer at both entry daemons', async (t) => {
+// Guards against a reused idempotency key that starts a second generation at any entry daemon.
+test.serial('a reused key gets the stored answer at both entry daemons', async (t) => {
   const options = buildOptions(createId());
   const first = await sendGeneration(getEntryUrl(0), options);
   t.is(first.kind, 'answer', JSON.stringify(first));
--- a/packages/cluster/gracefulShutdown.promise.test.ts
+++ b/packages/cluster/gracefulShutdown.promise.test.ts
@@ -19,7 +19,7 @@
     ),
   );
 
-// Guards against a shutdown of an entry daemon that cuts off streams it could have finished.
+// Guards against a shutdown of an entry daemon that interrupts streams it could have finished.
 test.serial('an entry daemon finishes its streams after SIGTERM', async (t) => {
   const cluster = await startTestCluster();
   t.teardown(cluster.stop);
@@ -35,9 +35,10 @@
   t.deepEqual(await exit, { code: 0, signal: null });
 });
 
-// Guards against a stream that is cut off at the end of the drain and cannot be resumed elsewhere.
+// Guards against a stream that is interrupted at the end of the drain time and cannot be resumed
+// elsewhere.
 test.serial(
-  'a stream that outlasts the drain is handed over to the other entry daemon',
+  'a stream that outlasts the drain time resumes at the other entry daemon',
   async (t) => {
     const cluster = await startTestCluster({ drainMs: 1_000 });
     t.teardown(cluster.stop);
@@ -46,7 +47,7 @@
     const exit = await cluster.findProcess('entry-1').kill('SIGTERM');
     t.deepEqual(exit, { code: 0, signal: null });
     const first = await stream?.read();
-    t.is(first?.end.kind, 'cut');
+    t.is(first?.end.kind, 'interrupted');
     const resumed = await openTestStream(buildCallerTarget(cluster, cluster.entryUrls[1]), {
       model: cluster.model,
       content: 'memo 0',
@@ -60,7 +61,7 @@
   },
 );
 
-// Guards against a leaving endpoint daemon that cuts off its streams or gets new work.
+// Guards against a leaving endpoint daemon that interrupts its streams or gets new work.
 test.serial(
   'a leaving endpoint daemon finishes its streams, and others get new work',
   async (t) => {
--- a/packages/cluster/moveNotification.test.ts
+++ b/packages/cluster/moveNotification.test.ts
@@ -80,9 +80,10 @@
   t.is(listEndNotifications().length, 1);
 });
 
-// Guards against a missing notification when the daemon that appended the end of the move is gone.
+// Guards against a missing notification when the daemon that appended the end of the move was
+// killed.
 test.serial(
-  'another entry daemon notifies when the daemon that ended the move is gone',
+  'another entry daemon notifies when the daemon that ended the move was killed',
   async (t) => {
     const offset = await startMove();
     const [first = '', second = ''] = cluster.entryUrls;
--- a/packages/cluster/onceInOrder.promise.test.ts
+++ b/packages/cluster/onceInOrder.promise.test.ts
@@ -25,14 +25,15 @@
 
 const getEngineUrl = (): string => Object.values(cluster.standinUrls.engines)[0] ?? '';
 
-// Guards against lost or repeated tokens, or a second generation, after an entry daemon died.
+// Guards against lost or duplicate tokens, or a second generation, after an entry daemon was
+// killed.
 test.serial('a stream resumes at the other entry daemon after one was killed', async (t) => {
   const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
   const stream = await openTestStream(buildCallerTarget(cluster, getEntryUrl(0)), options);
   await stream.waitForChunks(20);
   await cluster.findProcess('entry-1').kill('SIGKILL');
   const first = await stream.read();
-  t.is(first.end.kind, 'cut');
+  t.is(first.end.kind, 'interrupted');
   t.is(checkTokens(first.texts), null);
   t.true(first.texts.length < STREAM_TOKENS);
   const resumed = await openTestStream(buildCallerTarget(cluster, getEntryUrl(1)), {
@@ -46,7 +47,7 @@
 });
 
 // Guards against a stream that hangs, ends as if complete, or continues with tokens of another
-// generation after its endpoint daemon has died.
+// generation after its endpoint daemon was killed.
 test.serial('a stream whose endpoint daemon was killed ends with an explicit error', async (t) => {
   const options = { model: cluster.model, content: 'memo', targetTokens: STREAM_TOKENS };
   const stream = await openTestStream(buildCallerTarget(cluster), options);
@@ -63,7 +64,7 @@
 
 /** Returns null when a stream is complete or ends with an error event, and has the right tokens. */
 const checkExplicitEnd = ({ texts, end }: StreamResult, tokens: number): string | null => {
-  if (end.kind === 'cut') return `cut: ${end.reason}`;
+  if (end.kind === 'interrupted') return `interrupted: ${end.reason}`;
   if (end.kind === 'done' && texts.length !== tokens)
     return `ended after ${texts.length.toString()}`;
   return texts.length === 0 ? null : checkTokens(texts);
--- a/packages/cluster/processes/launcher.ts
+++ b/packages/cluster/processes/launcher.ts
@@ -68,7 +68,7 @@
         env: { ...process.env, NODE_ENV: 'production' },
         // Detached, so that signals of the terminal do not stop processes out of order.
         detached: true,
-        // The stdin pipe closes when this process dies; `--stop-with-input` then stops the child.
+        // The stdin pipe closes when this process exits; `--stop-with-input` then stops the child.
         stdio: ['pipe', 'pipe', file ?? 'inherit'],
       },
     );
--- a/packages/cluster/testing.ts
+++ b/packages/cluster/testing.ts
@@ -134,7 +134,7 @@
   });
 
 /**
- * Fetches a balance from the ledger service, a call that may be repeated.
+ * Fetches a balance from the ledger service, a call that may be retried.
  *
  * @param target - address and key
  * @returns the answer
