--- a/packages/standins/ledger/service/serviceChild.ts
+++ b/packages/standins/ledger/service/serviceChild.ts
@@ -8,7 +8,7 @@
 import { toStep } from '../../../core/step.js';
 import type { ChildLogic } from '../../../core/supervision/types.js';
 
-/** State of the service process. The executions are kept apart, because they survive a crash. */
+/** State of the service process. Executions are stored separately, because they survive a crash. */
 export interface ServiceState {
   /** Identity of the process since its last start. */
   readonly startId: string;
