--- a/packages/cluster/generationOnce.promise.test.ts
+++ b/packages/cluster/generationOnce.promise.test.ts
@@ -112,8 +112,8 @@
   t.is(await countRuns(options.requestId), 1);
 });
 
-// Guards against a reused idempotency key that starts a second generation at any entry daemon.
-test.serial('a reused key gets the stored answer at both entry daemons', async (t) => {
+// Guards against a repeated idempotency key that starts a second generation at any entry daemon.
+test.serial('a repeated key gets the stored answer at both entry daemons', async (t) => {
   const options = buildOptions(createId());
   const first = await sendGeneration(getEntryUrl(0), options);
   t.is(first.kind, 'answer', JSON.stringify(first));
