--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -19,7 +19,7 @@
 const resumeChain = (state: Fencing, view: IntentView): IntentStep =>
   state.purpose === 'replay'
     ? replyFromChain(state, view)
-    : resolveChain({ ...state, unstartable: [...state.unstartable, state.place.nonce] }, view);
+    : resolveChain({ ...state, unstartable: [...state.unstartable, state.placement.nonce] }, view);
 
 const replyFinished = (
   state: Fencing,
@@ -32,9 +32,9 @@
   const effect: IntentEffect =
     answer === null
       ? { kind: 'answer-digest', status, bodyDigest }
-      : { kind: 'answer', answer, source: 'stored', place: state.place };
+      : { kind: 'answer', answer, source: 'stored', placement: state.placement };
   const outcome = { verdict: 'ran', status, bodyDigest } as const;
-  return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+  return closeWithOutcome(state, state.placement.nonce, outcome, view, effect);
 };
 
 const createUnresolvedFailure = (
@@ -79,7 +79,7 @@
       );
       const outcome = { verdict: 'may-have-run', status: null, bodyDigest: null } as const;
       const effect = { kind: 'fail', failure } as const;
-      return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+      return closeWithOutcome(state, state.placement.nonce, outcome, view, effect);
     }
     default:
       return assertNever(state.purpose);
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -56,13 +56,13 @@
 /** Checks whether this request's intent was read back as active, is void, or is still missing. */
 const settleIntent = (state: StateOf<'settling'>, view: IntentView): IntentStep => {
   if (view.standing !== 'exact') return toStep(state);
-  const { place: noncePlacement, previous, append } = state;
+  const { placement: noncePlacement, previous, append } = state;
   const link = view.chain?.link ?? null;
   if (link?.nonce === noncePlacement.nonce) {
     if (link.standing.kind !== 'open') return resolveChain(state, view);
     if (view.now >= state.request.deadlineAt) return failUnsettled(state, view);
     return toStep(
-      { ...state, kind: 'dispatched', place: noncePlacement },
+      { ...state, kind: 'dispatched', placement: noncePlacement },
       { kind: 'dispatch', ...noncePlacement },
     );
   }
@@ -129,7 +129,7 @@
   view: IntentView,
 ): IntentStep => {
   if (state.kind === 'settling') {
-    const own = event.of === 'intent' && event.nonce === state.place.nonce;
+    const own = event.of === 'intent' && event.nonce === state.placement.nonce;
     return own ? handleIntentAppend(state, event.result, view) : toStep(state);
   }
   if (state.kind === 'recording') {
@@ -149,18 +149,27 @@
     case 'answered': {
       const { status, bodyDigest } = result.answer;
       const { answer } = result;
-      const { place: noncePlacement } = state;
-      const effect: IntentEffect = { kind: 'answer', answer, source: 'own', place: noncePlacement };
+      const { placement: noncePlacement } = state;
+      const effect: IntentEffect = {
+        kind: 'answer',
+        answer,
+        source: 'own',
+        placement: noncePlacement,
+      };
       const outcome = { verdict: 'ran', status, bodyDigest } as const;
-      return closeWithOutcome(state, state.place.nonce, outcome, view, effect);
+      return closeWithOutcome(state, state.placement.nonce, outcome, view, effect);
     }
     case 'refused': {
-      const refusedBy = [...state.refusedBy, state.place.endpoint];
+      const refusedBy = [...state.refusedBy, state.placement.endpoint];
       const next = { ...state, refusedBy, lastFailure: result.failure };
-      return fenceAtEndpoint(next, state.place, 'own-refused');
+      return fenceAtEndpoint(next, state.placement, 'own-refused');
     }
     case 'unknown':
-      return fenceAtEndpoint({ ...state, lastFailure: result.failure }, state.place, 'own-unknown');
+      return fenceAtEndpoint(
+        { ...state, lastFailure: result.failure },
+        state.placement,
+        'own-unknown',
+      );
     default:
       return assertNever(result);
   }
@@ -175,7 +184,7 @@
     case 'waiting':
       return resolveChain(state, view);
     case 'fencing':
-      return fenceAtEndpoint(state, state.place, state.purpose);
+      return fenceAtEndpoint(state, state.placement, state.purpose);
     case 'recording':
       return toStep(
         { ...state, tries: state.tries + 1 },
@@ -244,11 +253,11 @@
     case 'timer':
       return event.round === state.round ? handleTimer(state, view) : toStep(state);
     case 'dispatch-ended': {
-      const own = state.kind === 'dispatched' && state.place.nonce === event.nonce;
+      const own = state.kind === 'dispatched' && state.placement.nonce === event.nonce;
       return own ? handleDispatchEnd(state, event.result, view) : toStep(state);
     }
     case 'fence-answered': {
-      const own = state.kind === 'fencing' && state.place.nonce === event.nonce;
+      const own = state.kind === 'fencing' && state.placement.nonce === event.nonce;
       return own ? decideFenceAnswer(state, event.result, view) : toStep(state);
     }
     case 'caller-gone':
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -170,7 +170,7 @@
   view: IntentView,
   ...effects: readonly IntentEffect[]
 ): IntentStep =>
-  recordInBackground(state, toAbandonedRecord(state, state.place.nonce, view), ...effects);
+  recordInBackground(state, toAbandonedRecord(state, state.placement.nonce, view), ...effects);
 
 /**
  * Requests an endpoint daemon to fence a nonce, or to report its progress when it was started.
@@ -186,7 +186,13 @@
   purpose: FencePurpose,
 ): IntentStep =>
   toStep(
-    { ...toBase(state), kind: 'fencing', round: state.round + 1, place: noncePlacement, purpose },
+    {
+      ...toBase(state),
+      kind: 'fencing',
+      round: state.round + 1,
+      placement: noncePlacement,
+      purpose,
+    },
     { kind: 'fence', ...noncePlacement },
   );
 
@@ -332,7 +338,7 @@
     ...toBase(state),
     kind: 'settling',
     intents: state.intents + 1,
-    place: { ...target, nonce },
+    placement: { ...target, nonce },
     previous,
     append: { kind: 'pending' },
   };
--- a/packages/decisions/idempotency/testing/entryModel.ts
+++ b/packages/decisions/idempotency/testing/entryModel.ts
@@ -38,7 +38,7 @@
     state.append.kind !== 'pending';
   if (!isReadBackSkipped) return chain;
   const { customer, key, fingerprint, issuedAt } = state.request;
-  const link = { ...state.place, previous: null, entry: '', at: 0 };
+  const link = { ...state.placement, previous: null, entry: '', at: 0 };
   const open = { ...link, standing: { kind: 'open' } as const };
   return { customer, key, fingerprint, issuedAt, link: open, abandonedEarly: [] };
 };
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -206,7 +206,7 @@
       readonly answer: StoredAnswer;
       readonly source: 'own' | 'stored';
       /** Placement of the nonce that produced the answer. */
-      readonly place: NoncePlacement;
+      readonly placement: NoncePlacement;
     }
   /** The key ran, and its answer is no longer available. */
   | {
@@ -284,12 +284,16 @@
     | { readonly kind: 'choosing' }
     | {
         readonly kind: 'settling';
-        readonly place: NoncePlacement;
+        readonly placement: NoncePlacement;
         readonly previous: Nonce | null;
         readonly append: AppendProgress;
       }
-    | { readonly kind: 'dispatched'; readonly place: NoncePlacement }
-    | { readonly kind: 'fencing'; readonly place: NoncePlacement; readonly purpose: FencePurpose }
+    | { readonly kind: 'dispatched'; readonly placement: NoncePlacement }
+    | {
+        readonly kind: 'fencing';
+        readonly placement: NoncePlacement;
+        readonly purpose: FencePurpose;
+      }
     | {
         readonly kind: 'recording';
         readonly records: readonly [ChainRecord];
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -143,7 +143,7 @@
     const attempt = {
       attempts: request.attempts,
       repeat: 'idempotent',
-      shown: 'nothing',
+      delivered: 'nothing',
       deadline: DEADLINE_MS,
       minAttemptMs: 1,
     } as const;
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -16,7 +16,7 @@
 const anyAttempt = fc.record<FailedAttempt>({
   attempts: fc.integer({ min: 1, max: 6 }),
   repeat: fc.constantFrom('idempotent', 'never'),
-  shown: fc.constantFrom('nothing', 'some'),
+  delivered: fc.constantFrom('nothing', 'some'),
   deadline: fc.integer({ min: 0, max: 400_000 }),
   minAttemptMs: fc.nat(500),
 });
@@ -54,7 +54,7 @@
       retries += 1;
       const allowed = BUDGET_FLOOR + successes * RETRIES_PER_SUCCESS + now * FLOOR_REFILL_PER_MS;
       if (retries > allowed + 1e-6) throw new Error(`${retries.toString()} retries`);
-      if (attempt.shown === 'some') throw new Error('answer was delivered');
+      if (attempt.delivered === 'some') throw new Error('answer was delivered');
       if (attempt.repeat === 'never' && verdict !== 'not-run') throw new Error('may run twice');
       if (now + outcome.decision.delayMs + attempt.minAttemptMs > attempt.deadline) {
         throw new Error('too late');
@@ -70,7 +70,7 @@
   const attempt = {
     attempts: 1,
     repeat: 'idempotent',
-    shown: 'nothing',
+    delivered: 'nothing',
     minAttemptMs: 10,
   } as const;
   const lost = createFailure('may-have-run', 'endpoint-lost', 'endpoint lost', 40);
--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -82,7 +82,7 @@
 };
 
 const findGiveUpReason = (attempt: FailedAttempt, failure: Failure): GiveUpReason | null => {
-  if (attempt.shown === 'some') return 'answer-delivered';
+  if (attempt.delivered === 'some') return 'answer-delivered';
   if (failure.verdict !== 'not-run' && attempt.repeat === 'never') return 'may-have-run';
   if (!isTransient(failure.code)) return 'permanent-failure';
   return attempt.attempts >= MAX_ATTEMPTS ? 'attempts-spent' : null;
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -14,7 +14,7 @@
   /** `never`: the request must not run twice. */
   readonly repeat: 'idempotent' | 'never';
   /** Whether the caller has already received a part of the answer. */
-  readonly shown: 'nothing' | 'some';
+  readonly delivered: 'nothing' | 'some';
   readonly deadline: Millis;
   /** Minimum time before the deadline that makes another attempt worthwhile. */
   readonly minAttemptMs: Millis;
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -223,7 +223,7 @@
   const { status, headers, body } = effect.answer;
   const effects =
     request.kind === 'generation'
-      ? replayGeneration(state, request, effect.answer, effect.place, inputs)
+      ? replayGeneration(state, request, effect.answer, effect.placement, inputs)
       : sendAnswer(state, { status, headers, body }, inputs).effects;
   return effect.source === 'stored' ? [replayed, ...effects] : effects;
 };
@@ -328,7 +328,7 @@
 ): RequestStep => {
   const { intent } = state;
   if (intent.kind !== 'dispatched' || completion.attempt !== state.attempts) return toStep(state);
-  const { nonce } = intent.place;
+  const { nonce } = intent.placement;
   const result = toDispatchResult(completion);
   if (completion.kind === 'call-failed') reportCrash(state, completion.failure, inputs);
   const ended = completion.kind === 'call-failed' ? [logAttemptEnd(state, completion.failure)] : [];
@@ -343,7 +343,7 @@
 ): RequestStep => {
   const { intent } = state;
   if (step.ended === null || intent.kind !== 'dispatched') return step;
-  const { nonce } = intent.place;
+  const { nonce } = intent.placement;
   const ended = { kind: 'dispatch-ended', nonce, result: step.ended } as const;
   const next = applyIntent(step.state, ended, inputs);
   return { state: next.state, effects: [...step.effects, ...next.effects] };
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -92,7 +92,7 @@
     {
       attempts: state.attempts,
       repeat: repeat === 'allowed' ? 'idempotent' : 'never',
-      shown: 'nothing',
+      delivered: 'nothing',
       deadline: state.deadlineAt,
       minAttemptMs: MIN_ATTEMPT_MS,
     },
