Rename internal event kinds and results to terms of the field

Kinds such as reader-took, caller-gone, gave-up, well and alone were figurative. Each use was traced: none is logged, sent, stored, counted or read from settings, so nothing outside a process sees the change.

- well -> completed, alone -> isolated (quarantine)
- kept -> no-reply (table of nonces), known -> ignored (fold of the configuration)
- caller-gone -> caller-disconnected, gave-up -> attempts-ended (delivery, intents, requests)
- reader-took -> reader-acknowledged, reader-gone -> reader-disconnected (stream buffer)
- own-pause -> process-paused (membership), beat-failed -> heartbeat-failed, take -> dequeue (queue)

--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -62,7 +62,7 @@
   const enqueueAndTake = () => {
     const { requestId } = request;
     const queued = decideQueue(state, { kind: 'enqueue', request }).state;
-    decideQueue(queued, { kind: 'take', requestId });
+    decideQueue(queued, { kind: 'dequeue', requestId });
   };
   return { 'fairness.state': bytes, 'fairness.event-time': measureDuration(enqueueAndTake) / 2 };
 };
--- a/packages/capacity/measures/heartbeatSender.ts
+++ b/packages/capacity/measures/heartbeatSender.ts
@@ -19,7 +19,7 @@
 let lastSequence = 0;
 
 const handleEvent = (event: EndpointEvent): void => {
-  if (event.kind === 'beat-failed') throw new Error(event.reason);
+  if (event.kind === 'heartbeat-failed') throw new Error(event.reason);
   if (event.kind !== 'acknowledged') return;
   const resolve = pending.get(event.sequence);
   pending.delete(event.sequence);
--- a/packages/capacity/measures/streams.ts
+++ b/packages/capacity/measures/streams.ts
@@ -84,7 +84,13 @@
         state = applyEvents(
           state,
           { kind: 'engine-chunks', chunks: [chunk], now: NOW },
-          { kind: 'reader-took', stream: 'stream', link: 0, nextNumber: number + 1, now: NOW },
+          {
+            kind: 'reader-acknowledged',
+            stream: 'stream',
+            link: 0,
+            nextNumber: number + 1,
+            now: NOW,
+          },
         );
       }
     }),
@@ -102,7 +108,13 @@
           chunks: [JSON.parse(JSON.stringify(buildChunk(number))) as string],
           now: NOW,
         },
-        { kind: 'reader-took', stream: 'stream', link: 0, nextNumber: number + 1, now: NOW },
+        {
+          kind: 'reader-acknowledged',
+          stream: 'stream',
+          link: 0,
+          nextNumber: number + 1,
+          now: NOW,
+        },
       );
     }
     return state;
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -219,7 +219,7 @@
     (await sendRaw(session, 'Generate', type, oversizedEnvelope)).text,
     /readMaxBytes 4194304/,
   );
-  const unexpected = received.items.filter(({ kind }) => kind !== 'reader-gone');
+  const unexpected = received.items.filter(({ kind }) => kind !== 'reader-disconnected');
   t.deepEqual(unexpected, []);
   void sendRaw(session, 'Call', 'application/proto', CALL_MESSAGE).catch(() => undefined);
   t.like(await received.take(), { kind: 'call-requested' });
--- a/packages/decisions/configuration/fold.ts
+++ b/packages/decisions/configuration/fold.ts
@@ -181,7 +181,7 @@
   }
   if (state.standing === 'needs-snapshot') {
     const deferred = [...state.deferred, { offset, record }];
-    return { state: { ...state, deferred }, result: { kind: 'known' } };
+    return { state: { ...state, deferred }, result: { kind: 'ignored' } };
   }
   const { entities, result } = applyRecord(state.entities, record, offset);
   return { state: { ...state, entities }, result };
@@ -202,13 +202,13 @@
   raw: RawRecord,
   record: ControlRecord | null,
 ): Fold => {
-  if (raw.offset !== state.nextOffset) return { state, result: { kind: 'known' } };
+  if (raw.offset !== state.nextOffset) return { state, result: { kind: 'ignored' } };
   const advanced = {
     ...state,
     nextOffset: raw.offset + 1,
     recent: [...state.recent, raw].slice(-MAX_RECENT_RECORDS),
   };
-  if (record === null) return { state: advanced, result: { kind: 'known' } };
+  if (record === null) return { state: advanced, result: { kind: 'ignored' } };
   return applyControl(advanced, record, raw.offset);
 };
 
--- a/packages/decisions/configuration/types.ts
+++ b/packages/decisions/configuration/types.ts
@@ -99,7 +99,7 @@
   | { readonly kind: 'void'; readonly record: EntityRecord; readonly winner: Winner | null }
   | { readonly kind: 'snapshot'; readonly asOf: Offset }
   /** No effect: the record is unreadable or deferred, or its offset is not the next one. */
-  | { readonly kind: 'known' };
+  | { readonly kind: 'ignored' };
 
 /** Record as it was read from the log, retained for peers that are behind. */
 export interface RawRecord {
--- a/packages/decisions/fairness/decideQueue.ts
+++ b/packages/decisions/fairness/decideQueue.ts
@@ -235,7 +235,7 @@
   switch (event.kind) {
     case 'enqueue':
       return handleEnqueue(state, event.request);
-    case 'take':
+    case 'dequeue':
       return handleDequeue(state, event.requestId);
     case 'cancel': {
       const request = findRequest(state, event.requestId);
--- a/packages/decisions/fairness/fairness.test.ts
+++ b/packages/decisions/fairness/fairness.test.ts
@@ -43,7 +43,7 @@
   const [head] = listHeads(state);
   return head === undefined
     ? undefined
-    : { request: head, ...decideQueue(state, { kind: 'take', requestId: head.requestId }) };
+    : { request: head, ...decideQueue(state, { kind: 'dequeue', requestId: head.requestId }) };
 };
 
 const action = fc.oneof(
@@ -58,7 +58,7 @@
       timeToDeadline: fc.integer({ min: 0, max: 60 }),
     }),
   },
-  { weight: 3, arbitrary: fc.record({ kind: fc.constant('take' as const) }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('dequeue' as const) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('tick' as const) }) },
   {
     weight: 1,
@@ -107,11 +107,11 @@
             apply({ kind: 'enqueue', request });
             break;
           }
-          case 'take': {
+          case 'dequeue': {
             const [head] = listHeads(state);
             if (head === undefined) break;
-            apply({ kind: 'take', requestId: head.requestId });
-            apply({ kind: 'take', requestId: head.requestId });
+            apply({ kind: 'dequeue', requestId: head.requestId });
+            apply({ kind: 'dequeue', requestId: head.requestId });
             apply({ kind: 'settle', request: head, actualTokens: now * 30 });
             break;
           }
--- a/packages/decisions/fairness/types.ts
+++ b/packages/decisions/fairness/types.ts
@@ -60,7 +60,7 @@
 export type QueueEvent =
   | { readonly kind: 'enqueue'; readonly request: WaitingRequest }
   /** A waiting request was placed at an endpoint. */
-  | { readonly kind: 'take'; readonly requestId: RequestId }
+  | { readonly kind: 'dequeue'; readonly requestId: RequestId }
   | { readonly kind: 'cancel'; readonly requestId: RequestId }
   | { readonly kind: 'tick'; readonly now: Millis }
   /** A served request ended; its customer is charged the difference from the prediction. */
--- a/packages/decisions/idempotency/intent.test.ts
+++ b/packages/decisions/idempotency/intent.test.ts
@@ -245,7 +245,7 @@
   ],
   [
     'caller disconnects before the dispatch',
-    [START, chooseWith('a'), [{ kind: 'caller-gone' }]],
+    [START, chooseWith('a'), [{ kind: 'caller-disconnected' }]],
     ['recording', 'append abandoned a'],
   ],
 ];
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -260,7 +260,7 @@
       const own = state.kind === 'fencing' && state.placement.nonce === event.nonce;
       return own ? decideFenceAnswer(state, event.result, view) : toStep(state);
     }
-    case 'caller-gone':
+    case 'caller-disconnected':
       return handleDisconnect(state, view);
     default:
       return assertNever(event);
--- a/packages/decisions/idempotency/nonces.ts
+++ b/packages/decisions/idempotency/nonces.ts
@@ -147,7 +147,7 @@
 ): NonceDecision => {
   const { nonce, answer, now } = event;
   const entry = table.entries.get(nonce);
-  if (entry?.kind !== 'started') return { kind: 'kept' };
+  if (entry?.kind !== 'started') return { kind: 'no-reply' };
   const { status, bodyDigest } = answer;
   table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
   table.answers.set(nonce, { answer, expiresAt: now + table.settings.answerRetentionMs });
@@ -156,7 +156,7 @@
     if (table.answerBytes <= table.settings.maxAnswerBytes) break;
     removeAnswer(table, oldest);
   }
-  return { kind: 'kept' };
+  return { kind: 'no-reply' };
 };
 
 const finishWithoutAnswer = (
@@ -165,9 +165,9 @@
 ): NonceDecision => {
   const { nonce, status, bodyDigest } = event;
   const entry = table.entries.get(nonce);
-  if (entry?.kind !== 'started') return { kind: 'kept' };
+  if (entry?.kind !== 'started') return { kind: 'no-reply' };
   table.entries.set(nonce, { kind: 'finished', createdAt: entry.createdAt, status, bodyDigest });
-  return { kind: 'kept' };
+  return { kind: 'no-reply' };
 };
 
 const releaseNonce = (table: NonceTable, nonce: Nonce): NonceDecision => {
@@ -175,7 +175,7 @@
   if (entry?.kind === 'started') {
     table.entries.set(nonce, { kind: 'fenced', createdAt: entry.createdAt });
   }
-  return { kind: 'kept' };
+  return { kind: 'no-reply' };
 };
 
 const expireNonces = (table: NonceTable, now: Millis): NonceDecision => {
@@ -187,7 +187,7 @@
     removeAnswer(table, nonce);
     table.entries.delete(nonce);
   }
-  return { kind: 'kept' };
+  return { kind: 'no-reply' };
 };
 
 /**
@@ -197,7 +197,7 @@
  *
  * @param table - nonce table of the incarnation, updated in place
  * @param event - request to start or fence, the end of a call, or an expiry tick
- * @returns `run` when the call may start, `refuse`, the reply to a fence request, or `kept` for
+ * @returns `run` when the call may start, `refuse`, the reply to a fence request, or `no-reply` for
  *   events without a reply
  */
 export const decideNonce = (table: NonceTable, event: NonceEvent): NonceDecision => {
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -192,7 +192,7 @@
   | { readonly kind: 'timer'; readonly timer: IntentTimer; readonly round: number }
   | { readonly kind: 'dispatch-ended'; readonly nonce: Nonce; readonly result: DispatchResult }
   | { readonly kind: 'fence-answered'; readonly nonce: Nonce; readonly result: FenceResult }
-  | { readonly kind: 'caller-gone' };
+  | { readonly kind: 'caller-disconnected' };
 
 export type IntentEffect =
   | { readonly kind: 'choose-endpoint'; readonly exclude: readonly EndpointId[] }
@@ -358,4 +358,4 @@
   | { readonly kind: 'run' }
   | { readonly kind: 'refuse'; readonly failure: Failure }
   | { readonly kind: 'fence'; readonly result: FenceResult }
-  | { readonly kind: 'kept' };
+  | { readonly kind: 'no-reply' };
--- a/packages/decisions/membership/membership.test.ts
+++ b/packages/decisions/membership/membership.test.ts
@@ -36,7 +36,7 @@
 
 // Guards against heartbeats from before a pause of this process that make an endpoint eligible.
 test('after a pause, heartbeats of the backlog leave an endpoint suspect', (t) => {
-  const paused = run(buildHeartbeat('i1', 1, 'serving', 0), { kind: 'own-pause', now: 900 });
+  const paused = run(buildHeartbeat('i1', 1, 'serving', 0), { kind: 'process-paused', now: 900 });
   t.is(checkEligibility(paused, 'e', 900), 'suspect');
   const backlog = decideMembership(paused, buildHeartbeat('i1', 2, 'serving', 1_000)).state;
   t.is(checkEligibility(backlog, 'e', 1_000), 'suspect');
--- a/packages/decisions/membership/membership.ts
+++ b/packages/decisions/membership/membership.ts
@@ -185,7 +185,7 @@
       const dataCentresOut = new Set(event.dataCentresOut);
       return toStep({ ...state, dataCentresOut, configurationOffset: event.offset });
     }
-    case 'own-pause':
+    case 'process-paused':
       return handlePause(state, event.now);
     case 'tick':
       return expireEntries(state, event.now);
--- a/packages/decisions/membership/membershipSimulation.fixture.ts
+++ b/packages/decisions/membership/membershipSimulation.fixture.ts
@@ -187,7 +187,7 @@
 
   const runEntry = (entry: Entry): void => {
     if (isPaused(entry)) return;
-    if (now - entry.lastRunAt > 1_000) stepEntry(entry, { kind: 'own-pause', now });
+    if (now - entry.lastRunAt > 1_000) stepEntry(entry, { kind: 'process-paused', now });
     entry.lastRunAt = now;
     // Sends work before the inbox is read, which is the worst order after a pause.
     for (const endpoint of endpoints) sendWork(entry, endpoint);
--- a/packages/decisions/membership/types.ts
+++ b/packages/decisions/membership/types.ts
@@ -70,7 +70,7 @@
       readonly offset: Offset;
     }
   /** This process was paused. */
-  | { readonly kind: 'own-pause'; readonly now: Millis }
+  | { readonly kind: 'process-paused'; readonly now: Millis }
   | { readonly kind: 'tick'; readonly now: Millis };
 
 /** Output of a membership decision, for the other children of the entry daemon's supervisor. */
--- a/packages/decisions/placement/crowded/cluster.ts
+++ b/packages/decisions/placement/crowded/cluster.ts
@@ -173,7 +173,7 @@
 ): void => {
   const { targets, promptTokens } = item.work;
   applyAdmissionEvent(endpoint, { kind: 'admitted', request: toAdmissionRequest(item), now });
-  applyQueueEvent(cluster, entry, { kind: 'take', requestId: item.requestId });
+  applyQueueEvent(cluster, entry, { kind: 'dequeue', requestId: item.requestId });
   cluster.entryOf.set(item.requestId, entry);
   entry.placements.trackPlacement({
     requestId: item.requestId,
--- a/packages/decisions/quarantine/suspicion.test.ts
+++ b/packages/decisions/quarantine/suspicion.test.ts
@@ -64,8 +64,8 @@
       return;
     }
     const chosen = rule.kind === 'only' ? Number(rule.endpoints[0]) : choice;
-    const endpoint = rule.kind === 'alone' ? Number(rule.endpoint ?? choice) : chosen;
-    if (rule.kind === 'alone') startedIsolated.add(requestId);
+    const endpoint = rule.kind === 'isolated' ? Number(rule.endpoint ?? choice) : chosen;
+    if (rule.kind === 'isolated') startedIsolated.add(requestId);
     else startedIsolated.delete(requestId);
     const incarnation = (incarnations[endpoint] ?? 0).toString();
     const attempt = { requestId, fingerprint, endpoint: endpoint.toString(), incarnation };
@@ -96,7 +96,7 @@
 
   const runAttempt = ({ requestId, fingerprint, endpoint }: Attempt): void => {
     if (!POISON_FINGERPRINTS.includes(fingerprint)) {
-      step({ kind: 'attempt-ended', requestId, outcome: 'well' });
+      step({ kind: 'attempt-ended', requestId, outcome: 'completed' });
       return;
     }
     crashes[fingerprint] = (crashes[fingerprint] ?? 0) + 1;
@@ -230,7 +230,7 @@
   t.is(full.state.held.length, MAX_HELD_REQUESTS);
   const overflowed = decideSuspicion(full.state, buildHeld('last'));
   t.like(overflowed.effects[0], { kind: 'refuse-held', failure: { verdict: 'not-run' } });
-  const completion = { kind: 'attempt-ended', requestId: 'r', outcome: 'well' } as const;
+  const completion = { kind: 'attempt-ended', requestId: 'r', outcome: 'completed' } as const;
   const cleared = decideSuspicion(overflowed.state, completion);
   t.is(cleared.effects.filter((effect) => effect.kind === 'place-held').length, MAX_HELD_REQUESTS);
 });
--- a/packages/decisions/quarantine/suspicion.ts
+++ b/packages/decisions/quarantine/suspicion.ts
@@ -80,7 +80,7 @@
   }
   if (state.suspects.has(fingerprint)) {
     const isFree = state.isolatedRequest === null && !state.byFingerprint.has(fingerprint);
-    return isFree ? { kind: 'alone', endpoint: state.isolationEndpoint } : { kind: 'hold' };
+    return isFree ? { kind: 'isolated', endpoint: state.isolationEndpoint } : { kind: 'hold' };
   }
   if (!state.completed.has(fingerprint)) {
     const endpoints = listEndpointsOf(state, fingerprint);
@@ -154,7 +154,7 @@
   if (attempt === undefined) return toStep(state);
   const isolatedRequest = state.isolatedRequest === event.requestId ? null : state.isolatedRequest;
   const next = { ...state, isolatedRequest };
-  if (event.outcome !== 'well') return releaseHeld(toStep(next));
+  if (event.outcome !== 'completed') return releaseHeld(toStep(next));
   recordCompleted(state, attempt.fingerprint);
   return releaseHeld(toStep(next, ...clearSuspect(state, attempt.fingerprint)));
 };
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -78,16 +78,16 @@
   /** Only on endpoints that already run the fingerprint. */
   | { readonly kind: 'only'; readonly endpoints: readonly EndpointId[] }
   /** As the only running suspect, preferably on the named endpoint. */
-  | { readonly kind: 'alone'; readonly endpoint: EndpointId | null }
+  | { readonly kind: 'isolated'; readonly endpoint: EndpointId | null }
   /** Waits until it may run in isolation. */
   | { readonly kind: 'hold' }
   | { readonly kind: 'refuse'; readonly failure: Failure };
 
 /**
- * `well`: it completed. `refused`: it did not run. `failed`: it ended with an error, but the
+ * `completed`: it completed. `refused`: it did not run. `failed`: it ended with an error, but the
  * endpoint stayed up.
  */
-export type AttemptOutcome = 'well' | 'refused' | 'failed';
+export type AttemptOutcome = 'completed' | 'refused' | 'failed';
 
 /** Input of a suspicion decision: attempts, losses, quarantine records and ticks. */
 export type SuspicionEvent =
--- a/packages/decisions/retries/notRun.promise.test.ts
+++ b/packages/decisions/retries/notRun.promise.test.ts
@@ -92,7 +92,7 @@
 
 const buildGenerationProperty = (decide: DecideDelivery) =>
   fc.property(anyAttempts, fc.constantFrom('whole', 'incremental'), (ends, delivery) => {
-    const gaveUp: DeliveryEvent = { kind: 'gave-up', failure: SHED };
+    const gaveUp: DeliveryEvent = { kind: 'attempts-ended', failure: SHED };
     let state = initDelivery(delivery);
     for (const event of [...ends.flatMap(listEvents), gaveUp]) {
       const step = decide(state, event);
--- a/packages/decisions/streams/buffer.test.ts
+++ b/packages/decisions/streams/buffer.test.ts
@@ -92,7 +92,12 @@
 // Guards against a resume that silently skips chunks, and against a slow caller that exhausts the
 // memory.
 test('a resume at a dropped chunk is refused, and a slow reader pauses the engine, then loses the stream', (t) => {
-  const acknowledged = { kind: 'reader-took', ...toReader('a'), nextNumber: 5, now: 0 } as const;
+  const acknowledged = {
+    kind: 'reader-acknowledged',
+    ...toReader('a'),
+    nextNumber: 5,
+    now: 0,
+  } as const;
   const paused = run(open('a'), buildProduced(5), acknowledged, buildProduced(8));
   t.deepEqual(paused.effects.at(-1), { kind: 'pause-engine' });
   const slow = decideBuffer(paused.state, { kind: 'tick', now: 15_000 });
--- a/packages/decisions/streams/buffer.ts
+++ b/packages/decisions/streams/buffer.ts
@@ -218,7 +218,7 @@
 
 const handleAcknowledgement = (
   state: BufferState,
-  event: Extract<BufferEvent, { readonly kind: 'reader-took' }>,
+  event: Extract<BufferEvent, { readonly kind: 'reader-acknowledged' }>,
 ): BufferStep => {
   const { reader } = state;
   if (reader === null || !isActive(state, event)) return toStep(state);
@@ -297,7 +297,7 @@
       return closeGeneration(state, { kind: 'failed', failure: event.failure }, event.now);
     case 'reader-opened':
       return openReader(state, event);
-    case 'reader-took':
+    case 'reader-acknowledged':
       return handleAcknowledgement(state, event);
     case 'reader-closed':
       return isActive(state, event) ? updateFlow(closeReader(state, event.now)) : toStep(state);
--- a/packages/decisions/streams/bufferProperty.fixture.ts
+++ b/packages/decisions/streams/bufferProperty.fixture.ts
@@ -94,7 +94,7 @@
           break;
         }
         case 'acknowledge':
-          apply({ kind: 'reader-took', ...command.identity, nextNumber: command.to, now });
+          apply({ kind: 'reader-acknowledged', ...command.identity, nextNumber: command.to, now });
           break;
         case 'close':
           apply({ kind: 'reader-closed', ...command.identity, now });
--- a/packages/decisions/streams/bufferTypes.ts
+++ b/packages/decisions/streams/bufferTypes.ts
@@ -68,7 +68,7 @@
     } & ReaderIdentity)
   /** The reader acknowledged all chunks before `nextNumber`. */
   | ({
-      readonly kind: 'reader-took';
+      readonly kind: 'reader-acknowledged';
       readonly nextNumber: number;
       readonly now: Millis;
     } & ReaderIdentity)
--- a/packages/decisions/streams/delivery.test.ts
+++ b/packages/decisions/streams/delivery.test.ts
@@ -34,7 +34,7 @@
   const retried = [
     { kind: 'attempt-started', source: { ...source, generationId: 'g2' } },
     { kind: 'failed', generationId: 'g2', link: 0, failure: refusal },
-    { kind: 'gave-up', failure: refusal },
+    { kind: 'attempts-ended', failure: refusal },
   ] as const;
   const last = retried.reduce((step, event) => decideDelivery(step.state, event), resumed);
   t.like(last.effects[0], { kind: 'fail', failure: { verdict: 'may-have-run' } });
@@ -78,7 +78,7 @@
 
 // Guards against cancelling a resumable generation because its caller disconnected.
 test('a caller that disconnects detaches from a stream it can resume and cancels any other', (t) => {
-  const disconnect = { kind: 'caller-gone' } as const;
+  const disconnect = { kind: 'caller-disconnected' } as const;
   t.deepEqual(listKinds(run('incremental', buildChunks(0, 'a'), disconnect)), ['detach']);
   t.deepEqual(listKinds(run('incremental', disconnect)), ['cancel-generation']);
   t.deepEqual(listKinds(run('whole', buildChunks(0, 'a'), disconnect)), ['cancel-generation']);
--- a/packages/decisions/streams/delivery.ts
+++ b/packages/decisions/streams/delivery.ts
@@ -272,11 +272,11 @@
         : toStep(state);
     case 'endpoint-gone':
       return handleEndpointGone(state, event);
-    case 'gave-up':
+    case 'attempts-ended':
       return handleAttemptsEnded(state, event.failure);
     case 'drain-ended':
       return handleDrainEnd(state);
-    case 'caller-gone':
+    case 'caller-disconnected':
       return handleCallerDisconnect(state);
     default:
       return assertNever(event);
--- a/packages/decisions/streams/faultyStreams.fixture.ts
+++ b/packages/decisions/streams/faultyStreams.fixture.ts
@@ -219,7 +219,7 @@
       }
       case 'restart-allowed':
         if (caller.attempts < MAX_ATTEMPTS) startAttempt(caller);
-        else stepCaller(caller, { kind: 'gave-up', failure: effect.failure });
+        else stepCaller(caller, { kind: 'attempts-ended', failure: effect.failure });
         return;
       case 'hand-over':
         moveCaller(caller);
@@ -251,7 +251,7 @@
     const nextNumber = step.state.next;
     const { stream } = caller;
     const { link } = event;
-    sendToBuffer(step.state.source, { kind: 'reader-took', stream, link, nextNumber, now });
+    sendToBuffer(step.state.source, { kind: 'reader-acknowledged', stream, link, nextNumber, now });
   };
 
   const deliverMessage = (message: Message): void => {
--- a/packages/decisions/streams/types.ts
+++ b/packages/decisions/streams/types.ts
@@ -83,10 +83,10 @@
       readonly incarnation: Incarnation;
     }
   /** No further attempt is made. */
-  | { readonly kind: 'gave-up'; readonly failure: Failure }
+  | { readonly kind: 'attempts-ended'; readonly failure: Failure }
   | { readonly kind: 'drain-ended' }
   /** The caller disconnected. */
-  | { readonly kind: 'caller-gone' };
+  | { readonly kind: 'caller-disconnected' };
 
 /** Writes to the caller, requests to an endpoint daemon, and timers. */
 export type DeliveryEffect =
--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -56,7 +56,7 @@
     case 'refuse':
       return decision.failure;
     case 'fence':
-    case 'kept':
+    case 'no-reply':
       return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
@@ -177,7 +177,7 @@
     // started.
     case 'refuse':
     case 'run':
-    case 'kept':
+    case 'no-reply':
       return [{ kind: 'reply-fence', callId, result: 'started', answer: null }];
     default:
       return assertNever(decision);
--- a/packages/endpoint/classify.ts
+++ b/packages/endpoint/classify.ts
@@ -22,8 +22,8 @@
     case 'engine-failed':
     case 'service-answered':
     case 'service-failed':
-    case 'reader-took':
-    case 'reader-gone':
+    case 'reader-acknowledged':
+    case 'reader-disconnected':
     case 'work-ended':
     case 'tokens-received':
       return 'completion';
@@ -43,7 +43,7 @@
     case 'tick':
     case 'heartbeat-due':
     case 'acknowledged':
-    case 'beat-failed':
+    case 'heartbeat-failed':
     case 'drain-started':
     case 'drain-checked':
       return 'control';
--- a/packages/endpoint/heartbeats/entryClient.ts
+++ b/packages/endpoint/heartbeats/entryClient.ts
@@ -140,7 +140,7 @@
       });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      post({ to: 'heartbeats', kind: 'beat-failed', url, reason });
+      post({ to: 'heartbeats', kind: 'heartbeat-failed', url, reason });
     }
   };
 
--- a/packages/endpoint/heartbeats/heartbeats.ts
+++ b/packages/endpoint/heartbeats/heartbeats.ts
@@ -171,7 +171,7 @@
       const step = applyLease(configured.state, acknowledged);
       return toStep(step.state, ...configured.effects, ...step.effects);
     }
-    case 'beat-failed':
+    case 'heartbeat-failed':
       return applyLease(state, { kind: 'tick', now: inputs.now() });
     default:
       return assertNever(event);
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -137,11 +137,11 @@
         // The transport has accepted the message, so the buffer may drop these chunks and send
         // more.
         const nextNumber = firstNumber + choices.length;
-        post({ to: 'streams', kind: 'reader-took', callId, nextNumber });
+        post({ to: 'streams', kind: 'reader-acknowledged', callId, nextNumber });
       }
     } finally {
       readers.delete(callId);
-      post({ to: 'streams', kind: 'reader-gone', callId });
+      post({ to: 'streams', kind: 'reader-disconnected', callId });
     }
   }
 
--- a/packages/endpoint/streams/answerRecord.ts
+++ b/packages/endpoint/streams/answerRecord.ts
@@ -40,7 +40,7 @@
     case 'refuse':
       return decision.failure;
     case 'fence':
-    case 'kept':
+    case 'no-reply':
       return createFailure('may-have-run', 'internal', 'unexpected decision of the nonce table');
     default:
       return assertNever(decision);
--- a/packages/endpoint/streams/streams.ts
+++ b/packages/endpoint/streams/streams.ts
@@ -277,7 +277,7 @@
 
 const recordReaderProgress = (
   state: StreamsState,
-  event: Extract<StreamsEvent, { readonly kind: 'reader-took' }>,
+  event: Extract<StreamsEvent, { readonly kind: 'reader-acknowledged' }>,
   inputs: StreamsInputs,
 ): readonly EndpointEffect[] => {
   const reader = state.readers.get(event.callId);
@@ -285,7 +285,12 @@
   if (reader === undefined || generation === undefined) return [];
   const identity = { stream: reader.stream, link: reader.link };
   const { nextNumber } = event;
-  const progress = { kind: 'reader-took', ...identity, nextNumber, now: inputs.now() } as const;
+  const progress = {
+    kind: 'reader-acknowledged',
+    ...identity,
+    nextNumber,
+    now: inputs.now(),
+  } as const;
   return applyBuffer(state, generation, progress, inputs);
 };
 
@@ -353,9 +358,9 @@
       return finishGeneration(state, event, inputs);
     case 'engine-failed':
       return failGeneration(state, event, inputs);
-    case 'reader-took':
+    case 'reader-acknowledged':
       return recordReaderProgress(state, event, inputs);
-    case 'reader-gone':
+    case 'reader-disconnected':
       return closeReader(state, event.callId, inputs);
     case 'cancel':
       return cancelGeneration(state, event.generationId, inputs);
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -224,11 +224,11 @@
     }
   | {
       readonly to: 'streams';
-      readonly kind: 'reader-took';
+      readonly kind: 'reader-acknowledged';
       readonly callId: CallId;
       readonly nextNumber: number;
     }
-  | { readonly to: 'streams'; readonly kind: 'reader-gone'; readonly callId: CallId }
+  | { readonly to: 'streams'; readonly kind: 'reader-disconnected'; readonly callId: CallId }
   | {
       readonly to: 'streams';
       readonly kind: 'cancel';
@@ -271,7 +271,7 @@
     }
   | {
       readonly to: 'heartbeats';
-      readonly kind: 'beat-failed';
+      readonly kind: 'heartbeat-failed';
       readonly url: string;
       readonly reason: string;
     };
--- a/packages/entry/classify.ts
+++ b/packages/entry/classify.ts
@@ -17,7 +17,7 @@
     case 'evidence-received':
       return 'report';
     case 'endpoint-completed':
-    case 'caller-gone':
+    case 'caller-disconnected':
     case 'append-ended':
     case 'notice-ended':
     case 'read-ended':
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -109,7 +109,7 @@
 
 export type RequestsEvent =
   | { readonly to: 'requests'; readonly kind: 'request-received'; readonly request: CallerRequest }
-  | { readonly to: 'requests'; readonly kind: 'caller-gone'; readonly requestId: RequestId }
+  | { readonly to: 'requests'; readonly kind: 'caller-disconnected'; readonly requestId: RequestId }
   | {
       readonly to: 'requests';
       readonly kind: 'endpoint-completed';
--- a/packages/entry/membership/membership.ts
+++ b/packages/entry/membership/membership.ts
@@ -200,7 +200,7 @@
     const step = applyTableEvent(next, { kind: 'tick', now });
     return toStep(step.state, ...step.effects, nextTick);
   }
-  const step = applyTableEvent(next, { kind: 'own-pause', now });
+  const step = applyTableEvent(next, { kind: 'process-paused', now });
   const logged: EntryEffect = {
     kind: 'log',
     name: 'pause-detected',
--- a/packages/entry/operator/operator.ts
+++ b/packages/entry/operator/operator.ts
@@ -179,7 +179,7 @@
       return [buildReply(operationId, { kind: 'failed', failure })];
     }
     case 'snapshot':
-    case 'known':
+    case 'ignored':
       return [];
     default:
       return assertNever(result);
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -47,7 +47,7 @@
   if (written === 'written' || effect.pace === 'stored') return;
   // The caller reads too slowly to buffer its stream here; it can resume from its last event id.
   adapters.responders.closeConnection(requestId);
-  adapters.loop().post({ to: 'requests', kind: 'caller-gone', requestId });
+  adapters.loop().post({ to: 'requests', kind: 'caller-disconnected', requestId });
 };
 
 const endStreamWithTicket = (effect: EffectOf<'hand-over'>, adapters: EntryAdapters): void => {
--- a/packages/entry/platform/control/control.ts
+++ b/packages/entry/platform/control/control.ts
@@ -79,7 +79,7 @@
       return [{ kind: 'log', name: 'configuration-void', details }];
     }
     case 'snapshot':
-    case 'known':
+    case 'ignored':
       return [];
     default:
       return assertNever(result);
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -146,7 +146,7 @@
   const { requestId, receivedAt } = state.request;
   const now = inputs.now();
   const { className } = state.policy;
-  releaseAttempt(state, 'well', inputs);
+  releaseAttempt(state, 'completed', inputs);
   recordRequestSuccess(state, inputs);
   return toStep<CallState | null, EntryEffect>(
     null,
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -175,7 +175,7 @@
 ): GenerationStep => {
   const { request, policy, placement } = state;
   const { requestId } = request;
-  releaseAttempt(state, 'well', inputs);
+  releaseAttempt(state, 'completed', inputs);
   recordRequestSuccess(state, inputs);
   if (request.kind === 'generation' && placement !== null) {
     const key = {
@@ -238,7 +238,10 @@
       return toStep<GenerationState, EntryEffect>(retrying, ended, ...next.effects);
     }
     case 'give-up': {
-      const gaveUp = decideDelivery(state.delivery, { kind: 'gave-up', failure: next.failure });
+      const gaveUp = decideDelivery(state.delivery, {
+        kind: 'attempts-ended',
+        failure: next.failure,
+      });
       const step = applyEffects({ ...state, delivery: gaveUp.state }, gaveUp.effects, inputs);
       return toStep<GenerationState | null, EntryEffect>(
         step.state as GenerationState | null,
@@ -324,7 +327,7 @@
         nextNumber: effect.fromNumber,
       });
     case 'detach':
-      releaseAttempt(state, 'well', inputs);
+      releaseAttempt(state, 'completed', inputs);
       return toStep<GenerationState, EntryEffect>(state, buildCloseLink(state, effect.source));
     case 'cancel-generation':
       return toStep<GenerationState, EntryEffect>(state, buildCloseLink(state, effect.source), {
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -109,7 +109,7 @@
       return { effects, ended: toFailedResult(effect.failure), caller: 'served' };
     }
     case 'hand-over': {
-      releaseAttempt(stream, 'well', inputs);
+      releaseAttempt(stream, 'completed', inputs);
       const { effects } = applyDeliveryEffect(stream, effect, inputs);
       return { effects, ended: toFailedResult(HANDED_OVER_FAILURE), caller: 'served' };
     }
@@ -219,7 +219,7 @@
       return failRequest(state, stored.failure, inputs).effects;
     case 'finished': {
       const { nonce, endpoint, incarnation } = placement;
-      releaseAttempt(state, 'well', inputs);
+      releaseAttempt(state, 'completed', inputs);
       return [
         {
           kind: 'write-chunks',
--- a/packages/entry/requests/placement.ts
+++ b/packages/entry/requests/placement.ts
@@ -67,7 +67,7 @@
     }
     case 'only':
       return endpoints.filter(({ endpoint }) => rule.endpoints.includes(endpoint));
-    case 'alone': {
+    case 'isolated': {
       const preferred = endpoints.filter(({ endpoint }) => endpoint === rule.endpoint);
       return preferred.length > 0 ? preferred : endpoints;
     }
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -159,7 +159,7 @@
   inputs.suspicions.apply({ kind: 'abandoned', requestId });
   switch (state.kind) {
     case 'generation': {
-      const step = applyDelivery(state, { kind: 'caller-gone' }, inputs);
+      const step = applyDelivery(state, { kind: 'caller-disconnected' }, inputs);
       releaseAttempt(state, 'refused', inputs);
       return { state: null, effects: [logged, ...step.effects] };
     }
@@ -167,7 +167,7 @@
       releaseAttempt(state, 'refused', inputs);
       return { state: null, effects: [logged] };
     case 'keyed': {
-      const step = applyIntent(state, { kind: 'caller-gone' }, inputs);
+      const step = applyIntent(state, { kind: 'caller-disconnected' }, inputs);
       return { state: step.state, effects: [logged, ...step.effects] };
     }
     default:
@@ -251,7 +251,7 @@
   switch (event.kind) {
     case 'request-received':
       return receiveRequest(event.request, context);
-    case 'caller-gone':
+    case 'caller-disconnected':
       return updateRequest(context, event.requestId, (state) => handleCallerGone(state, inputs));
     case 'endpoint-completed':
       return updateRequest(context, event.completion.requestId, (state) =>
--- a/packages/entry/requests/waitingQueue.ts
+++ b/packages/entry/requests/waitingQueue.ts
@@ -47,7 +47,7 @@
     for (let tries = 0; tries < MAX_TRIES_PER_EVENT; tries += 1) {
       const head = listHeads(state).find((request) => !blockedLanes.has(getLaneKey(request)));
       if (head === undefined) return;
-      if (place(head.requestId) === 'placed') apply({ kind: 'take', requestId: head.requestId });
+      if (place(head.requestId) === 'placed') apply({ kind: 'dequeue', requestId: head.requestId });
       else blockedLanes.add(getLaneKey(head));
     }
   };
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -228,7 +228,7 @@
     postRequest: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'request-arrived', request }),
     postCallerGone: (requestId) => {
-      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', requestId });
+      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-disconnected', requestId });
     },
     listModels: () => settings.models,
   });
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -21,7 +21,7 @@
     case 'attempt-sent':
     case 'attempt-failed':
     case 'transfer-ended':
-    case 'caller-gone':
+    case 'caller-disconnected':
     case 'feed-answered':
     case 'report-read':
     case 'request-arrived':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -86,7 +86,7 @@
 
 export type RequestsEvent = { readonly to: 'requests' } & (
   | { readonly kind: 'request-arrived'; readonly request: ForwardRequest }
-  | { readonly kind: 'caller-gone'; readonly key: number }
+  | { readonly kind: 'caller-disconnected'; readonly key: number }
   | {
       readonly kind: 'answer-started';
       readonly key: number;
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -118,7 +118,7 @@
       if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
       // Closes the stream, so that a slow caller does not fill the daemon's memory.
       responders.breakAnswer(effect.key);
-      loop().post({ to: 'requests', kind: 'caller-gone', key: effect.key });
+      loop().post({ to: 'requests', kind: 'caller-disconnected', key: effect.key });
       return;
     case 'end-answer':
       responders.endAnswer(effect.key);
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -159,7 +159,7 @@
 test('the attempts of a caller that disconnects are cancelled', (t) => {
   const harness = createRequestsHarness();
   const order = getOrder(harness.sendRequest('/memo/1'));
-  const effects = harness.post({ to: 'requests', kind: 'caller-gone', key: order.key });
+  const effects = harness.post({ to: 'requests', kind: 'caller-disconnected', key: order.key });
   t.is(findEffect(effects, 'cancel-attempt')?.attempt, order.attempt);
   t.is(harness.countOpen(), 0);
 });
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -245,7 +245,7 @@
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
-    case 'caller-gone':
+    case 'caller-disconnected':
       return cancelRequest(forwarding, context);
     case 'deadline-reached':
       return expireRequest(forwarding, context);
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -192,7 +192,7 @@
   const [order] = startMemos(harness, 1) as [AttemptOrder];
   postLeaving(harness);
   endStep(harness, order, COPIED);
-  const effects = harness.post({ to: 'requests', kind: 'caller-gone', key: order.key });
+  const effects = harness.post({ to: 'requests', kind: 'caller-disconnected', key: order.key });
   t.like(findEffect(effects, 'release-copy'), { address: order.address, handle: 'h-1' });
 });
 
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -122,7 +122,7 @@
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
     postDisconnect: (key) => {
       cradle.responders.remove(key);
-      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-gone', key });
+      cradle.daemon.loop.post({ to: 'requests', kind: 'caller-disconnected', key });
     },
   });
 
