--- a/packages/decisions/placement/choosePlacement.ts
+++ b/packages/decisions/placement/choosePlacement.ts
@@ -4,7 +4,7 @@
   PREFIX_DECAY_MS,
   SAMPLING_STRIDES,
 } from './constants.js';
-import { countRequests, hasSlot, isCandidate } from './eligible.js';
+import { countRequests, hasSlot, isCandidate } from './eligibility.js';
 import { buildInputs, checkEndpoint } from './headroom.js';
 import type { CandidateCheck, HeadroomInputs } from './headroom.js';
 import type {
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -29,7 +29,7 @@
   updateRequest,
 } from './requestTable.js';
 import type { RequestsContext } from './requestTable.js';
-import { handleSuspicions } from './suspectEffects.js';
+import { handleSuspicions } from './suspicionEffects.js';
 import type { ClassPolicy, RequestState, RequestsState } from './types.js';
 import { createWaitingQueue } from './waitingQueue.js';
 import { assertNever } from '../../core/assertNever.js';
