--- a/packages/decisions/forwarding/placeAttempt.test.ts
+++ b/packages/decisions/forwarding/placeAttempt.test.ts
@@ -18,6 +18,7 @@
   service: ENGINE_SERVICE,
   demand: DEMAND,
   targetMs: 1_800,
+  homeDataCentre: 'dc-a',
   tried: new Set(),
   now: 10_000,
 };
@@ -149,3 +150,34 @@
   );
   t.is(placeTransfer(candidates, CRITERIA, runner, random)?.record.id, 'e-3');
 });
+
+const countHome = (candidates: Parameters<typeof placeAttempt>[0], placements: number): number => {
+  let home = 0;
+  for (let number = 0; number < placements; number += 1) {
+    const chosen = placeAttempt(candidates, CRITERIA, random);
+    if (chosen?.record.dataCentre === CRITERIA.homeDataCentre) home += 1;
+  }
+  return home;
+};
+
+// Guards against traffic between data centres, and placements by loads that are known late, while
+// the own data centre has room: a fleet in several data centres under equal load.
+test('generations stay in the own data centre while its engines are no busier than others', (t) => {
+  const load = { requests: 2, tokens: 4_000, waitingTokens: 0 };
+  const candidates = ['dc-a', 'dc-b', 'dc-c'].map((dataCentre, index) =>
+    buildCandidate(buildEndpoint(`e-${index.toString()}`, { dataCentre }), { load }),
+  );
+  t.is(countHome(candidates, 50), 50);
+});
+
+// Guards against engines of the own data centre that preempt generations while others are free: a
+// data centre with more callers than its share of the engines.
+test('generations leave the own data centre when its engines are full', (t) => {
+  const { memoryTokens = 0 } = ENGINE_SERVICE.engine ?? {};
+  const full = { requests: 6, tokens: memoryTokens, waitingTokens: 0 };
+  const candidates = [
+    buildCandidate(buildEndpoint('e-1'), { load: full }),
+    buildCandidate(buildEndpoint('e-2', { dataCentre: 'dc-b' })),
+  ];
+  t.is(countHome(candidates, 50), 0);
+});
--- a/packages/decisions/forwarding/placeAttempt.ts
+++ b/packages/decisions/forwarding/placeAttempt.ts
@@ -4,7 +4,7 @@
 import type { RequestLimit } from './requestLimit.js';
 import type { EndpointRecord, GenerationDemand, Service } from './types.js';
 import type { Millis } from '../../core/clock.js';
-import type { EndpointId } from '../../core/ids.js';
+import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 
 /** Load on one endpoint: that of this daemon and that last reported by its peers. */
@@ -35,6 +35,8 @@
   readonly demand: GenerationDemand | null;
   /** Latency target of the answer. */
   readonly targetMs: Millis;
+  /** Data centre of this daemon, which knows the loads there best. */
+  readonly homeDataCentre: DataCentreId;
   /** Endpoints to which this request has already been sent. */
   readonly tried: ReadonlySet<EndpointId>;
   readonly now: Millis;
@@ -46,6 +48,21 @@
  */
 const SCORE_JITTER = 0.1;
 
+/**
+ * The same for an endpoint in another data centre, whose load arrives later, so that more daemons
+ * choose one at a time.
+ */
+const REMOTE_SCORE_JITTER = 0.3;
+
+/**
+ * Cost of an engine in another data centre, in shares of its memory or slots. Traffic between data
+ * centres is expensive, and loads there are known later.
+ */
+const REMOTE_ENGINE_COST = 0.3;
+
+/** Factor of the score of a plain endpoint in another data centre. */
+const REMOTE_PLAIN_FACTOR = 1.25;
+
 /** Latency assumed for an endpoint that has not answered yet. */
 const DEFAULT_ANSWER_MS = 20;
 
@@ -111,6 +128,9 @@
   (coldHeadroom === null || coldHeadroom > 0) &&
   (limitHeadroom === null || limitHeadroom > 0);
 
+const isRemote = ({ dataCentre }: EndpointRecord, { homeDataCentre }: PlacementCriteria): boolean =>
+  dataCentre !== homeDataCentre;
+
 const computePlainScore = (
   { record, health, load }: Candidate,
   excessRate: number,
@@ -118,7 +138,8 @@
 ): number => {
   const answerMs = health.answerMs ?? DEFAULT_ANSWER_MS;
   const slotShare = load.requests / Math.max(1, record.slots);
-  return answerMs * (1 + 2 * slotShare) + excessRate * FAILURE_COST * criteria.targetMs;
+  const distance = isRemote(record, criteria) ? REMOTE_PLAIN_FACTOR : 1;
+  return answerMs * (1 + 2 * slotShare) * distance + excessRate * FAILURE_COST * criteria.targetMs;
 };
 
 const computeEngineScore = (
@@ -134,7 +155,8 @@
   // An engine over its capacity preempts running generations, which costs more than any queueing.
   const overflow = utilization > 1 ? (utilization - 1) * OVERFLOW_COST : 0;
   const waiting = (load.waitingTokens * WAITING_TOKEN_COST) / memory;
-  return slotShare + memoryShare + waiting + overflow + excessRate * FAILURE_COST;
+  const distance = isRemote(record, criteria) ? REMOTE_ENGINE_COST : 0;
+  return slotShare + memoryShare + waiting + overflow + distance + excessRate * FAILURE_COST;
 };
 
 const computeScore = (
@@ -158,8 +180,8 @@
   let bestScore = Infinity;
   for (const [index, candidate] of candidates.entries()) {
     const excessRate = (rates[index] ?? 0) - commonRate;
-    const score =
-      computeScore(candidate, excessRate, criteria) * (1 + SCORE_JITTER * random.next());
+    const jitter = isRemote(candidate.record, criteria) ? REMOTE_SCORE_JITTER : SCORE_JITTER;
+    const score = computeScore(candidate, excessRate, criteria) * (1 + jitter * random.next());
     if (score < bestScore) {
       best = candidate;
       bestScore = score;
--- a/packages/decisions/membership/constants.ts
+++ b/packages/decisions/membership/constants.ts
@@ -40,3 +40,6 @@
  * the newest configuration.
  */
 export const MAX_SETTLING_MS = 2_000;
+
+/** Maximum number of gateway daemons that report to each other directly. */
+export const MAX_GROUP_SIZE = 16;
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -5,8 +5,44 @@
 import { MIN_LIMIT_USERS } from '../../decisions/forwarding/constants.js';
 import { NEW_ENDPOINT_HEALTH } from '../../decisions/forwarding/endpointHealth.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
+import type { PeersState } from '../peers/fleet.js';
+import { toReceived } from '../peers/summary.js';
+import type { PeerReport } from '../peers/types.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 
+const REPORT: PeerReport = {
+  kind: 'report',
+  format: 2,
+  process: 'p-2',
+  dataCentre: 'dc-a',
+  load: [['e-1', 3, 900, 100]],
+  transfers: [],
+  leaving: [],
+  hosts: [],
+  wants: 'nothing',
+  crashes: [],
+  survivals: [],
+  limits: [],
+};
+
+const buildPeers = (reports: readonly PeerReport[]): PeersState => {
+  const hosts = reports.map((report) => ({ report, host: `10.0.0.${report.process.slice(2)}` }));
+  return {
+    daemons: new Map(
+      hosts.map(({ host, report: { process } }) => [
+        host,
+        { host, process, dataCentre: 'dc-a', heardAt: 1_000 },
+      ]),
+    ),
+    reports: new Map(hosts.map(({ host, report }) => [host, toReceived(report, 1_000)])),
+    summaries: new Map(),
+    contacted: new Map(),
+    groups: { own: 'all', peers: hosts.map(({ host }) => host), others: new Map() },
+    fullReportAt: 0,
+    summarySentAt: 0,
+  };
+};
+
 const build = (records: readonly EndpointRecord[], out: readonly string[] = []) => ({
   membership: {
     loaded: 'yes' as const,
@@ -26,29 +62,7 @@
     removed: new Map(),
     dataCentresOut: new Set(out),
   },
-  peers: {
-    peers: new Map([
-      [
-        '10.0.0.2',
-        {
-          host: '10.0.0.2',
-          receivedAt: 1_000,
-          message: {
-            format: 2 as const,
-            process: 'p-2',
-            load: [['e-1', 3, 900, 100] as const],
-            transfers: [],
-            leaving: [],
-            hosts: [],
-            crashes: [],
-            survivals: [],
-            limits: [],
-          },
-        },
-      ],
-    ]),
-    seedsContactedAt: 0,
-  },
+  peers: buildPeers([REPORT]),
   requests: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map<string, number[]>() },
   moves: { orders: new Map() },
 });
@@ -122,19 +136,16 @@
 test('some of the daemons of a large fleet use an endpoint with a low limit', (t) => {
   const sources = build([buildEndpoint('e-1')]);
   const known = sources.membership.endpoints.get('e-1');
-  const peer = sources.peers.peers.get('10.0.0.2');
-  if (known === undefined || peer === undefined) throw new Error('the harness is incomplete');
+  if (known === undefined) throw new Error('the endpoint is missing');
   const limit = { requestsPerSecond: 1, observedAt: 1_000 };
   sources.membership.endpoints.set('e-1', { ...known, limit });
   const names = Array.from({ length: 28 }, (_, number) => `p-${number.toString()}`);
   const hash = (text: string): number => Number(text.split('-').at(-1)) % 13;
   const roles = names.map((process) => {
-    sources.peers.peers.clear();
-    for (const other of names.filter((name) => name !== process)) {
-      const message = { ...peer.message, process: other };
-      sources.peers.peers.set(other, { ...peer, host: other, message });
-    }
-    return listCandidates('writer', sources, { process, hash }, 1_100)[0]?.limit?.role;
+    const others = names.filter((name) => name !== process);
+    const peers = buildPeers(others.map((other) => ({ ...REPORT, process: other })));
+    const candidates = listCandidates('writer', { ...sources, peers }, { process, hash }, 1_100);
+    return candidates[0]?.limit?.role;
   });
   t.is(roles.filter((role) => role === 'user').length, MIN_LIMIT_USERS);
 });
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -10,11 +10,25 @@
 /** Number of missed reports after which a peer no longer delays the transfers of others. */
 export const MAX_MISSED_REPORTS = 4;
 
+/** The same for the summary of another group. */
+export const MAX_MISSED_SUMMARIES = 3;
+
 /** Age of its last report above which a peer is removed and no longer shares the retry budget. */
 export const PEER_EXPIRY_MS = 15_000;
 
-/** Limit of the peers that receive a report; in a larger fleet they are chosen at random. */
-export const MAX_REPORT_TARGETS = 16;
+/**
+ * Interval between two summaries of a group to at most `SUMMARY_RECEIVERS` other groups. With more
+ * of them it grows in proportion, up to a maximum within the age at which loads still count.
+ */
+export const SUMMARY_INTERVAL_MS = 160;
+export const SUMMARY_RECEIVERS = 4;
+export const MAX_SUMMARY_INTERVAL_MS = 800;
+
+/** Minimum interval between two summaries that are sent at once because something changed. */
+export const MIN_SUMMARY_INTERVAL_MS = 40;
+
+/** Age of its last report above which a daemon is not the leader of its group. */
+export const LEADER_TIMEOUT_MS = 320;
 
 /** Limit of the leaving endpoints in one report, and the time for which each is repeated. */
 export const MAX_REPORTED_LEAVING = 16;
@@ -37,5 +51,12 @@
 export const MAX_REPORTED_SURVIVALS = 12;
 export const CRASH_REPEAT_MS = 3_000;
 
-/** Interval at which reports also go to the seeds, including those that have not answered. */
+/** Limit of the load rows and of the members in one summary. */
+export const MAX_SUMMARY_LOAD_ROWS = 160;
+export const MAX_SUMMARY_MEMBERS = 64;
+
+/**
+ * Interval at which reports include the crashes of all quarantines, and at which the seeds are
+ * contacted by the leader of a group and by a daemon without peers.
+ */
 export const SEED_INTERVAL_MS = 1_000;
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -1,5 +1,5 @@
 import { CRASH_REPEAT_MS, MAX_REPORTED_CRASHES, MAX_REPORTED_SURVIVALS } from './constants.js';
-import type { CrashReportRow, PeerMessage } from './types.js';
+import type { CrashReportRow, PeerReport } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import {
   listCrashes,
@@ -25,7 +25,7 @@
 }
 
 /** The part of a peer message that reports crashes. */
-export type CrashMessage = Pick<PeerMessage, 'crashes' | 'survivals'>;
+export type CrashMessage = Pick<PeerReport, 'crashes' | 'survivals'>;
 
 /**
  * Converts a crash to the row that is sent to peers and stored.
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -5,26 +5,24 @@
   REPORT_INTERVAL_MS,
   MAX_MISSED_REPORTS,
 } from './constants.js';
-import {
-  countDaemons,
-  countPeerRequests,
-  createPeersLogic,
-  isPrecededByPeer,
-  sumPeerLoad,
-} from './peers.js';
-import { decodePeerMessage } from './peerSocket.js';
-import type { PeerMessage } from './types.js';
+import { countDaemons, countPeerRequests, isPrecededByPeer, sumPeerLoad } from './fleet.js';
+import { decodePeerMessage } from './peerCodec.js';
+import { createPeersLogic } from './peers.js';
+import type { PeerReport } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
 import type { GatewayEffect, PeersEvent } from '../events.js';
 
-const MESSAGE: PeerMessage = {
+const MESSAGE: PeerReport = {
+  kind: 'report',
   format: 2,
   process: 'gateway-2',
+  dataCentre: 'dc-a',
   load: [['e-1', 2, 500, 100]],
   transfers: [],
   leaving: [],
   hosts: [],
+  wants: 'nothing',
   crashes: [],
   survivals: [],
   limits: [],
@@ -36,8 +34,8 @@
   const logic = createPeersLogic({
     clock,
     random: createRandomSource(2),
-    process: 'gateway-5',
-    ownHost: '10.0.0.5',
+    self: { host: '10.0.0.5', process: 'gateway-5', dataCentre: 'dc-a' },
+    hash: (text) => text.length,
     getSeeds: () => ['10.0.0.1', '10.0.0.5'],
     listOwnLoad: () => [['e-9', 1, 50, 0]],
     listLeaving: () => [],
@@ -54,7 +52,7 @@
     ({ state } = step);
     return step.effects;
   };
-  const receive = (host: string, change: Partial<PeerMessage> = {}) =>
+  const receive = (host: string, change: Partial<PeerReport> = {}) =>
     post({ to: 'peers', kind: 'peer-report-received', host, message: { ...MESSAGE, ...change } });
   return { clock, scopes, post, receive, getState: () => state };
 };
@@ -185,9 +183,21 @@
 
 // Guards against daemons that ignore each other while one of them has an earlier version.
 test('a report without survivals and with crashes in the earlier form is read', (t) => {
-  const early = { ...MESSAGE, crashes: [['f', 'e-1']], limits: undefined, survivals: undefined };
+  const early = {
+    ...MESSAGE,
+    dataCentre: undefined,
+    wants: undefined,
+    crashes: [['f', 'e-1']],
+    limits: undefined,
+    survivals: undefined,
+  };
   const decoded = decodePeerMessage(Buffer.from(JSON.stringify(early)));
-  t.deepEqual(decoded, { ...MESSAGE, crashes: [['f', 'e-1', 'waiting', 0, []]], survivals: [] });
+  t.deepEqual(decoded, {
+    ...MESSAGE,
+    dataCentre: '',
+    crashes: [['f', 'e-1', 'waiting', 0, []]],
+    survivals: [],
+  });
 });
 
 // Guards against datagrams of another format version or from a sender that is not a gateway daemon.
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -1,41 +1,42 @@
 import {
   LEAVING_REPEAT_MS,
-  MAX_REPORTED_LOAD_ROWS,
+  MAX_PEER_LOAD_AGE_MS,
   MAX_REPORTED_HOSTS,
-  MAX_REPORTED_LIMITS,
   MAX_REPORTED_LEAVING,
-  MAX_REPORT_TARGETS,
-  PEER_EXPIRY_MS,
-  MAX_PEER_LOAD_AGE_MS,
+  MAX_REPORTED_LIMITS,
+  MAX_REPORTED_LOAD_ROWS,
+  MAX_SUMMARY_INTERVAL_MS,
+  MIN_SUMMARY_INTERVAL_MS,
   REPORT_INTERVAL_MS,
   SEED_INTERVAL_MS,
-  MAX_MISSED_REPORTS,
+  SUMMARY_INTERVAL_MS,
+  SUMMARY_RECEIVERS,
 } from './constants.js';
 import { readCrashMessage } from './crashReports.js';
 import type { CrashMessage, CrashReportScope } from './crashReports.js';
-import type { LimitRow, LoadRow, Peer, PeerMessage } from './types.js';
+import { isLeader, pruneFleet } from './fleet.js';
+import type { KnownDaemon, PeersState } from './fleet.js';
+import { buildSummary, toReceived } from './summary.js';
+import type { MemberReport } from './summary.js';
+import type { GroupSummary, LimitRow, LoadRow, PeerMessage, PeerReport } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
-import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
-import type { RequestLimit } from '../../decisions/forwarding/requestLimit.js';
+import type { FleetMember } from '../../decisions/membership/reportGroups.js';
+import { splitFleet } from '../../decisions/membership/reportGroups.js';
+import type { StringHash } from '../../decisions/membership/rendezvous.js';
 import type { GatewayEffect, PeersEvent } from '../events.js';
-import { addLoads, NO_LOAD } from '../requests/load.js';
-
-/** Other gateway daemons by host. Only the `peers` child updates the map, in place. */
-export interface PeersState {
-  readonly peers: Map<string, Peer>;
-  readonly seedsContactedAt: Millis;
-}
 
 export interface PeersInputs {
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly process: string;
-  readonly ownHost: string;
+  /** This daemon. */
+  readonly self: FleetMember;
+  readonly hash: StringHash;
   readonly getSeeds: () => readonly string[];
   /** Lists the load of this daemon's requests on each endpoint. */
   readonly listOwnLoad: () => readonly LoadRow[];
@@ -44,188 +45,175 @@
    * removed.
    */
   readonly listLeaving: (since: Millis) => readonly EndpointId[];
-  readonly listOwnTransfers: () => PeerMessage['transfers'];
+  readonly listOwnTransfers: () => PeerReport['transfers'];
   readonly listLimits: () => readonly LimitRow[];
   readonly buildCrashMessage: (scope: CrashReportScope) => CrashMessage;
 }
 
-/**
- * Sums the load of the peers on an endpoint.
- *
- * @param state - peers and their last reports
- * @param endpoint - endpoint of the load
- * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
- * @returns the sum
- */
-export const sumPeerLoad = (state: PeersState, endpoint: EndpointId, now: Millis): EndpointLoad => {
-  let sum = NO_LOAD;
-  for (const { receivedAt, message } of state.peers.values()) {
-    if (now - receivedAt > MAX_PEER_LOAD_AGE_MS) continue;
-    for (const row of message.load) {
-      if (row[0] !== endpoint) continue;
-      const [, requests, tokens, waitingTokens] = row;
-      sum = addLoads(sum, { requests, tokens, waitingTokens });
-    }
-  }
-  return sum;
-};
+type Effects = GatewayEffect[];
 
-/**
- * Counts the daemons that share a retry budget, including this one.
- *
- * @param state - peers and their last reports
- * @returns the number of daemons
- */
-export const countDaemons = (state: PeersState): number => state.peers.size + 1;
+const isLocalHost = (host: string, { self }: PeersInputs): boolean => host === self.host;
 
-/**
- * Lists the names of the other daemons.
- *
- * @param state - peers and their last reports
- * @returns the names of their processes
- */
-export const listPeerProcesses = (state: PeersState): readonly string[] =>
-  [...state.peers.values()].map(({ message }) => message.process);
+/** Samples consecutive hosts from a random one on, so that all are named in turn. */
+const sampleHosts = (
+  daemons: readonly KnownDaemon[],
+  count: number,
+  { random }: PeersInputs,
+): readonly string[] => {
+  const start = Math.floor(random.next() * daemons.length);
+  return [...daemons.slice(start), ...daemons.slice(0, start)]
+    .slice(0, count)
+    .map(({ host }) => host);
+};
 
-/**
- * Counts the requests of the peers to an endpoint that states a limit.
- *
- * @param state - peers and their last reports
- * @param endpoint - endpoint with the limit
- * @param now - current instant
- * @returns the reported requests, and the peers whose reports are older than `MAX_PEER_LOAD_AGE_MS`
- */
-export const countPeerRequests = (
+/** Samples hosts for a daemon: half of them from its data centre, where its group is. */
+const listHostsFor = (
+  { dataCentre }: FleetMember,
+  { daemons }: PeersState,
+  inputs: PeersInputs,
+): readonly string[] => {
+  const all = [...daemons.values()];
+  const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
+  const hosts = sampleHosts(near, MAX_REPORTED_HOSTS / 2, inputs);
+  return [...new Set([...hosts, ...sampleHosts(all, MAX_REPORTED_HOSTS - hosts.length, inputs)])];
+};
+
+const buildReport = (
   state: PeersState,
-  endpoint: EndpointId,
-  now: Millis,
-): Pick<RequestLimit, 'peerRequests' | 'silentDaemons'> => {
-  let peerRequests = 0;
-  let silentDaemons = 0;
-  for (const { message, receivedAt } of state.peers.values()) {
-    if (now - receivedAt > MAX_PEER_LOAD_AGE_MS) silentDaemons += 1;
-    else peerRequests += message.limits.find(([id]) => id === endpoint)?.[3] ?? 0;
-  }
-  return { peerRequests, silentDaemons };
+  inputs: PeersInputs,
+  scope: CrashReportScope,
+): PeerReport => {
+  const { process, dataCentre } = inputs.self;
+  const now = inputs.clock.now();
+  return {
+    ...inputs.buildCrashMessage(scope),
+    kind: 'report',
+    format: 2,
+    process,
+    dataCentre,
+    transfers: inputs.listOwnTransfers(),
+    limits: inputs.listLimits().slice(0, MAX_REPORTED_LIMITS),
+    leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_REPORTED_LEAVING),
+    load: inputs.listOwnLoad().slice(0, MAX_REPORTED_LOAD_ROWS),
+    hosts: listHostsFor(inputs.self, state, inputs),
+    wants: 'nothing',
+  };
 };
 
-/** Next transfer of a generation by a daemon from a leaving endpoint. */
-export interface PendingTransfer {
-  readonly source: EndpointId;
-  readonly priority: number;
-  readonly process: string;
-}
+/** Lists the reports of the own group, with that of this daemon. */
+const listMemberReports = (
+  { daemons, groups, reports }: PeersState,
+  own: PeerReport,
+  { clock, self }: PeersInputs,
+): readonly MemberReport[] => [
+  { member: self, receivedAt: clock.now(), report: own },
+  ...groups.peers.flatMap((host): readonly MemberReport[] => {
+    const member = daemons.get(host);
+    const received = reports.get(host);
+    if (member === undefined || received === undefined) return [];
+    return [{ member, receivedAt: received.receivedAt, report: received.message }];
+  }),
+];
 
 /**
- * Reports whether another daemon transfers a generation from the same endpoint first. The highest
- * priority is transferred first, since there may not be time for all transfers. The names of the
- * daemons break ties, so that all daemons agree.
- *
- * @param state - peers and their last reports
- * @param transfer - this daemon's next transfer
- * @param now - current instant; peers that missed `MAX_MISSED_REPORTS` reports do not count
- * @returns true when this daemon has to wait
+ * Chooses the daemon of another group that receives a summary: one that was heard of lately, at
+ * random, so that a lost daemon costs one message only.
  */
-export const isPrecededByPeer = (
-  state: PeersState,
-  transfer: PendingTransfer,
-  now: Millis,
-): boolean =>
-  [...state.peers.values()].some(
-    ({ receivedAt, message }) =>
-      now - receivedAt <= MAX_MISSED_REPORTS * REPORT_INTERVAL_MS &&
-      message.transfers.some(
-        ([source, priority]) =>
-          source === transfer.source &&
-          (priority > transfer.priority ||
-            (priority === transfer.priority && message.process < transfer.process)),
-      ),
+const chooseReceiver = (
+  hosts: readonly string[],
+  { daemons }: PeersState,
+  { clock, random }: PeersInputs,
+): readonly string[] => {
+  const now = clock.now();
+  const recent = hosts.filter(
+    (host) => now - (daemons.get(host)?.heardAt ?? 0) <= MAX_PEER_LOAD_AGE_MS,
   );
-
-/**
- * Counts the daemons whose reports arrive at present, including this one. A daemon that is
- * partitioned from the others cannot rely on their reports of leaving endpoints.
- *
- * @param state - peers and their last reports
- * @param now - current instant; reports older than `MAX_PEER_LOAD_AGE_MS` do not count
- * @returns the number of daemons
- */
-export const countReachableDaemons = (state: PeersState, now: Millis): number =>
-  1 +
-  [...state.peers.values()].filter(({ receivedAt }) => now - receivedAt <= MAX_PEER_LOAD_AGE_MS)
-    .length;
-
-const chooseTargets = (state: PeersState, inputs: PeersInputs, now: Millis): readonly string[] => {
-  const known = [...state.peers.values()].map(({ host }) => host);
-  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
-  const seeds = isSeedContactDue ? inputs.getSeeds() : [];
-  const all = [...new Set([...known, ...seeds])].filter((host) => host !== inputs.ownHost);
-  if (all.length <= MAX_REPORT_TARGETS) return all;
-  const start = Math.floor(inputs.random.next() * all.length);
-  return [...all.slice(start), ...all.slice(0, start)].slice(0, MAX_REPORT_TARGETS);
+  const choice = recent.length > 0 ? recent : hosts;
+  return choice.slice(Math.floor(random.next() * choice.length)).slice(0, 1);
 };
 
-const buildMessage = (
-  state: PeersState,
-  inputs: PeersInputs,
-  now: Millis,
-  scope: CrashReportScope = 'recent',
-): PeerMessage => ({
-  ...inputs.buildCrashMessage(scope),
-  format: 2,
-  process: inputs.process,
-  transfers: inputs.listOwnTransfers(),
-  limits: inputs.listLimits().slice(0, MAX_REPORTED_LIMITS),
-  leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_REPORTED_LEAVING),
-  load: inputs.listOwnLoad().slice(0, MAX_REPORTED_LOAD_ROWS),
-  hosts: [...state.peers.values()].slice(0, MAX_REPORTED_HOSTS).map(({ host }) => host),
+const sendSummary = (state: PeersState, own: PeerReport, inputs: PeersInputs): GatewayEffect => ({
+  kind: 'send-peers',
+  hosts: [...state.groups.others.values()].flatMap((hosts) => chooseReceiver(hosts, state, inputs)),
+  message: buildSummary(
+    state.groups.own,
+    own,
+    listMemberReports(state, own, inputs),
+    inputs.clock.now(),
+  ),
 });
 
-const sendReport = (
+/** Sends the report to the own group and, if this daemon leads it, a summary to the others. */
+const sendMessages = (
   state: PeersState,
+  own: PeerReport,
   inputs: PeersInputs,
-  scope: CrashReportScope,
-): GatewayEffect => {
+  minSummaryIntervalMs: Millis,
+) => {
   const now = inputs.clock.now();
-  const hosts = chooseTargets(state, inputs, now);
-  return { kind: 'send-peers', hosts, message: buildMessage(state, inputs, now, scope) };
+  const isSummaryDue =
+    state.groups.others.size > 0 &&
+    now - state.summarySentAt >= minSummaryIntervalMs &&
+    isLeader(state, inputs.self.process, now);
+  const report: GatewayEffect = { kind: 'send-peers', hosts: state.groups.peers, message: own };
+  return isSummaryDue
+    ? toStep<PeersState, GatewayEffect>(
+        { ...state, summarySentAt: now },
+        report,
+        sendSummary(state, own, inputs),
+      )
+    : toStep<PeersState, GatewayEffect>(state, report);
 };
 
-const handleReportDue = (state: PeersState, inputs: PeersInputs) => {
+/**
+ * Contacts the seeds: the leader does so for its group, which may be cut from the others, and a
+ * daemon that hears nobody for itself.
+ */
+const reportToSeeds = (state: PeersState, own: PeerReport, inputs: PeersInputs): Effects => {
   const now = inputs.clock.now();
-  for (const [host, peer] of state.peers) {
-    if (now - peer.receivedAt > PEER_EXPIRY_MS) state.peers.delete(host);
+  const isDue = state.reports.size === 0 || isLeader(state, inputs.self.process, now);
+  if (!isDue) return [];
+  const known = new Set(state.groups.peers);
+  const hosts = inputs.getSeeds().filter((host) => !isLocalHost(host, inputs) && !known.has(host));
+  if (hosts.length === 0) return [];
+  return [{ kind: 'send-peers', hosts, message: { ...own, wants: 'hosts' } }];
+};
+
+const updateGroups = (state: PeersState, { hash, self }: PeersInputs): PeersState => {
+  const groups = splitFleet(self, [...state.daemons.values()], hash);
+  // The summaries of the other groups contain the loads of their daemons.
+  for (const host of state.reports.keys()) {
+    if (!groups.peers.includes(host)) state.reports.delete(host);
   }
-  const isSeedContactDue = now - state.seedsContactedAt >= SEED_INTERVAL_MS;
-  const next = isSeedContactDue ? { ...state, seedsContactedAt: now } : state;
-  return toStep<PeersState, GatewayEffect>(
-    next,
-    {
-      kind: 'schedule',
-      delayMs: REPORT_INTERVAL_MS,
-      event: { to: 'peers', kind: 'report-due' },
-    },
-    sendReport(state, inputs, isSeedContactDue ? 'quarantines' : 'recent'),
-  );
+  return { ...state, groups };
 };
 
-const receiveReport = (
-  state: PeersState,
-  event: Extract<PeersEvent, { kind: 'peer-report-received' }>,
-  inputs: PeersInputs,
-) => {
-  const { host, message } = event;
-  if (host === inputs.ownHost) return toStep<PeersState, GatewayEffect>(state);
-  const now = inputs.clock.now();
-  const known = state.peers.get(host);
-  state.peers.set(host, { host, receivedAt: now, message });
-  const unknown = message.hosts.filter(
-    (other) => other !== inputs.ownHost && !state.peers.has(other),
+/** Computes the interval between summaries, which grows with the number of their receivers. */
+const computeSummaryInterval = ({ groups }: PeersState): Millis =>
+  Math.min(
+    MAX_SUMMARY_INTERVAL_MS,
+    SUMMARY_INTERVAL_MS * Math.max(1, groups.others.size / SUMMARY_RECEIVERS),
   );
-  const effects: GatewayEffect[] =
-    unknown.length === 0
-      ? []
-      : [{ kind: 'send-peers', hosts: unknown, message: buildMessage(state, inputs, now) }];
+
+const handleReportDue = (state: PeersState, inputs: PeersInputs) => {
+  const now = inputs.clock.now();
+  const next: GatewayEffect = {
+    kind: 'schedule',
+    delayMs: REPORT_INTERVAL_MS,
+    event: { to: 'peers', kind: 'report-due' },
+  };
+  const isFull = now - state.fullReportAt >= SEED_INTERVAL_MS;
+  if (isFull) pruneFleet(state, now);
+  const current = isFull ? { ...updateGroups(state, inputs), fullReportAt: now } : state;
+  const own = buildReport(current, inputs, isFull ? 'quarantines' : 'recent');
+  const sent = sendMessages(current, own, inputs, computeSummaryInterval(current));
+  const seeds = isFull ? reportToSeeds(current, own, inputs) : [];
+  return { state: sent.state, effects: [next, ...sent.effects, ...seeds] };
+};
+
+/** Publishes what a message says about endpoints and the requests that crashed them. */
+const publishContents = (message: PeerMessage, now: Millis): Effects => {
+  const effects: Effects = [];
   if (message.crashes.length + message.survivals.length > 0) {
     const report = readCrashMessage(message, now);
     effects.push({
@@ -247,21 +235,104 @@
       event: { to: 'membership', kind: 'report-read', endpoint, report },
     });
   }
-  if (known === undefined) {
-    effects.push({
-      kind: 'log',
-      name: 'peer-found',
-      details: { data: { process: message.process, host } },
-    });
+  return effects;
+};
+
+const describeFound = ({ host, process }: FleetMember): GatewayEffect => ({
+  kind: 'log',
+  name: 'peer-found',
+  details: { data: { process, host } },
+});
+
+const receiveReport = (
+  state: PeersState,
+  host: string,
+  message: PeerReport,
+  inputs: PeersInputs,
+): Step<PeersState, GatewayEffect> => {
+  const now = inputs.clock.now();
+  const { dataCentre, process } = message;
+  const member = { host, process, dataCentre };
+  const isNew = !state.daemons.has(host);
+  state.daemons.set(host, { ...member, heardAt: now });
+  const unknown = message.hosts.filter(
+    (other) =>
+      !isLocalHost(other, inputs) && !state.daemons.has(other) && !state.contacted.has(other),
+  );
+  for (const other of unknown) state.contacted.set(other, now);
+  const current = isNew ? updateGroups(state, inputs) : state;
+  const isInGroup = current.groups.peers.includes(host);
+  if (isInGroup) state.reports.set(host, toReceived(message, now));
+  const effects: Effects = publishContents(message, now);
+  if (isNew) effects.push(describeFound(member));
+  if (unknown.length > 0) {
+    const own: PeerReport = { ...buildReport(current, inputs, 'recent'), wants: 'hosts' };
+    effects.unshift({ kind: 'send-peers', hosts: unknown, message: own });
+  }
+  // The regular reports do not go to a daemon of another group, which looks for its own.
+  if (message.wants === 'hosts' && !isInGroup) {
+    const hosts = listHostsFor(member, current, inputs);
+    const own = { ...buildReport(current, inputs, 'recent'), hosts };
+    effects.push({ kind: 'send-peers', hosts: [host], message: own });
+  }
+  return { state: current, effects };
+};
+
+const receiveSummary = (
+  state: PeersState,
+  message: GroupSummary,
+  inputs: PeersInputs,
+): Step<PeersState, GatewayEffect> => {
+  const now = inputs.clock.now();
+  const found: Effects = [];
+  for (const [host, process, dataCentre, ageMs] of message.members) {
+    if (isLocalHost(host, inputs)) continue;
+    const member = { host, process, dataCentre };
+    const known = state.daemons.get(host);
+    if (known === undefined) found.push(describeFound(member));
+    const heardAt = Math.max(known?.heardAt ?? 0, now - ageMs);
+    state.daemons.set(host, { ...member, heardAt });
+  }
+  const current = found.length > 0 ? updateGroups(state, inputs) : state;
+  // A leader with another view of the fleet may summarize reports that also arrive directly.
+  if (message.group === current.groups.own) return { state: current, effects: found };
+  state.summaries.set(message.group, toReceived(message, now));
+  const relayed: Effects =
+    message.hop === 'relayed'
+      ? []
+      : [
+          {
+            kind: 'send-peers',
+            hosts: current.groups.peers,
+            message: { ...message, hop: 'relayed' },
+          },
+        ];
+  return { state: current, effects: [...relayed, ...publishContents(message, now), ...found] };
+};
+
+const receiveMessage = (
+  state: PeersState,
+  { host, message }: Extract<PeersEvent, { kind: 'peer-report-received' }>,
+  inputs: PeersInputs,
+): Step<PeersState, GatewayEffect> => {
+  if (isLocalHost(host, inputs)) return toStep<PeersState, GatewayEffect>(state);
+  switch (message.kind) {
+    case 'report':
+      return receiveReport(state, host, message, inputs);
+    case 'summary':
+      return receiveSummary(state, message, inputs);
+    default:
+      return assertNever(message);
   }
-  return { state, effects };
 };
 
 /**
  * Creates the decision logic of the `peers` child, which exchanges reports with the other gateway
- * daemons. The next report repeats the contents of a lost datagram, so a loss only delays them.
+ * daemons. Those of its group receive its reports; the leader of a group sends a summary to one
+ * daemon of each other group, which relays it. The next message repeats the contents of a lost
+ * datagram, so a loss only delays them.
  *
- * @param inputs - clock, addresses and the contents of the reports
+ * @param inputs - clock, this daemon and the contents of the reports
  * @returns the decision logic
  */
 export const createPeersLogic = (
@@ -269,7 +340,15 @@
 ): ChildLogic<PeersState, PeersEvent, GatewayEffect> => ({
   init: () =>
     toStep<PeersState, GatewayEffect>(
-      { peers: new Map(), seedsContactedAt: 0 },
+      {
+        daemons: new Map(),
+        reports: new Map(),
+        summaries: new Map(),
+        contacted: new Map(),
+        groups: splitFleet(inputs.self, [], inputs.hash),
+        fullReportAt: 0,
+        summarySentAt: 0,
+      },
       { kind: 'post', event: { to: 'peers', kind: 'report-due' } },
     ),
   decide: (state, event) => {
@@ -277,9 +356,14 @@
       case 'report-due':
         return handleReportDue(state, inputs);
       case 'report-changed':
-        return toStep<PeersState, GatewayEffect>(state, sendReport(state, inputs, 'recent'));
+        return sendMessages(
+          state,
+          buildReport(state, inputs, 'recent'),
+          inputs,
+          MIN_SUMMARY_INTERVAL_MS,
+        );
       case 'peer-report-received':
-        return receiveReport(state, event, inputs);
+        return receiveMessage(state, event, inputs);
       default:
         return assertNever(event);
     }
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -11,7 +11,15 @@
 import { checkRequestContent } from './content.js';
 import { refuseOverloaded, refuseQuarantined, refuseUnplaced } from './unplaced.js';
 import { releaseCopy } from './generationCopy.js';
-import type { Attempt, AttemptPurpose, Effects, Forwarding, RequestsContext } from './types.js';
+import { REPORT_TO_PEERS } from './peerReports.js';
+import type {
+  Attempt,
+  AttemptPurpose,
+  Effects,
+  Forwarding,
+  RequestsContext,
+  RequestsInputs,
+} from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
@@ -49,13 +57,14 @@
 
 const buildCriteria = (
   { request, route, service, tried }: Forwarding,
-  now: Millis,
+  { clock, dataCentre }: RequestsInputs,
 ): PlacementCriteria => ({
   service,
   demand: request.demand,
   targetMs: route.targetMs,
+  homeDataCentre: dataCentre,
   tried,
-  now,
+  now: clock.now(),
 });
 
 /**
@@ -70,7 +79,7 @@
 ): EndpointRecord | null => {
   const { route } = forwarding;
   if (route.answer !== 'stream' || route.resume === 'resumable') return null;
-  const criteria = buildCriteria(forwarding, inputs.clock.now());
+  const criteria = buildCriteria(forwarding, inputs);
   return placeBackup(candidates, criteria, runner, inputs.random)?.record ?? null;
 };
 
@@ -186,6 +195,8 @@
         },
       },
     },
+    // Others would place their next generations there, too, as long as they do not know of this one.
+    ...(service.engine === null ? [] : [REPORT_TO_PEERS]),
     ...scheduleChecks(forwarding, attempt),
   ];
 };
@@ -225,7 +236,7 @@
   const content = checkRequestContent(forwarding.request, inputs);
   if (content.kind === 'quarantined') return refuseQuarantined(forwarding, content, context);
   const candidates = listCandidates(forwarding, context);
-  const criteria = buildCriteria(forwarding, now);
+  const criteria = buildCriteria(forwarding, inputs);
   const candidate = placeAttempt(candidates, criteria, inputs.random);
   const { request, route } = forwarding;
   const waitedMs = now - request.receivedAt;
@@ -287,7 +298,7 @@
   context: RequestsContext,
 ): EndpointRecord | null => {
   const { inputs } = context;
-  const criteria = buildCriteria(forwarding, inputs.clock.now());
+  const criteria = buildCriteria(forwarding, inputs);
   const candidates = listCandidates(forwarding, context).filter(
     ({ record }) => !attempt.refusedTargets.has(record.id),
   );
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -91,6 +91,8 @@
   const logic = createRequestsLogic({
     clock,
     random: createRandomSource(3),
+    // None of the engines is in the data centre of the daemon, so that it prefers none of them.
+    dataCentre: 'dc-z',
     getRoutingTable: () => (configured === 'yes' ? table : null),
     listEndpoints: (service) =>
       endpoints
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -8,6 +8,7 @@
 import { endAttempt } from './retrying.js';
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
+import { REPORT_TO_PEERS } from './peerReports.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, Transfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -22,11 +23,6 @@
   readonly attempt: Attempt;
 }
 
-const REPORT_TO_PEERS: GatewayEffect = {
-  kind: 'post',
-  event: { to: 'peers', kind: 'report-changed' },
-};
-
 const orderTransfer = (
   { attempt, forwarding }: RunningGeneration,
   target: EndpointRecord,
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,7 +1,7 @@
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 import type { AnswerHead, LiveSettings } from '../types.js';
 import type { Clock, Millis } from '../../core/clock.js';
-import type { EndpointId } from '../../core/ids.js';
+import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
@@ -128,6 +128,7 @@
 export interface RequestsInputs {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly dataCentre: DataCentreId;
   readonly getRoutingTable: () => RoutingTable | null;
   readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
   readonly countDaemons: () => number;
--- a/packages/gateway/supervisor.ts
+++ b/packages/gateway/supervisor.ts
@@ -15,7 +15,7 @@
 import type { GateState } from './frontend/gate.js';
 import type { MembershipState } from './membership/membership.js';
 import type { MovesState } from './moves/moves.js';
-import type { PeersState } from './peers/peers.js';
+import type { PeersState } from './peers/fleet.js';
 import type { QuarantineState } from './quarantine/quarantine.js';
 import type { RequestsState } from './requests/types.js';
 import { buildRoutedChild } from '../core/supervision/routedChild.js';
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -17,12 +17,8 @@
 import { createMembershipLogic, listLeaving } from './membership/membership.js';
 import { createMovesLogic } from './moves/moves.js';
 import { buildCrashMessage } from './peers/crashReports.js';
-import {
-  countDaemons,
-  countReachableDaemons,
-  createPeersLogic,
-  isPrecededByPeer,
-} from './peers/peers.js';
+import { countDaemons, countReachableDaemons, isPrecededByPeer } from './peers/fleet.js';
+import { createPeersLogic } from './peers/peers.js';
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { createQuarantineLogic } from './quarantine/quarantine.js';
@@ -172,6 +168,7 @@
     requests: createRequestsLogic({
       clock,
       random,
+      dataCentre: settings.dataCentre,
       getRoutingTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, limitInputs, clock.now()),
       countDaemons: () => countDaemons(states.peers),
@@ -193,8 +190,12 @@
     peers: createPeersLogic({
       clock,
       random,
-      process: settings.process,
-      ownHost: settings.peers.host,
+      self: {
+        host: settings.peers.host,
+        process: settings.process,
+        dataCentre: settings.dataCentre,
+      },
+      hash: limitInputs.hash,
       getSeeds: () => live.current.seeds,
       listOwnLoad: () =>
         [...sumOwnLoads(states.requests)].map(([id, { requests, tokens, waitingTokens }]) => [
