--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -137,6 +137,7 @@
   record,
   health: NEW_ENDPOINT_HEALTH,
   load: { requests: 0, tokens: 0, waitingTokens: 0 },
+  statedLoad: null,
   coldHeadroom: null,
   limit: null,
   limitHeadroom: null,
--- a/packages/decisions/forwarding/placeAttempt.test.ts
+++ b/packages/decisions/forwarding/placeAttempt.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import {
   buildCandidate,
   buildEndpoint,
@@ -181,3 +182,46 @@
   ];
   t.is(countHome(candidates, 50), 0);
 });
+
+const countChosen = (candidates: Parameters<typeof placeAttempt>[0], id: string): number => {
+  let count = 0;
+  for (let number = 0; number < 200; number += 1) {
+    if (placeAttempt(candidates, PLAIN_CRITERIA, random)?.record.id === id) count += 1;
+  }
+  return count;
+};
+
+// Guards against calls to an endpoint that the other daemons have filled: one of three endpoints is
+// full, and only its answers show it.
+test('an endpoint that states that it is full receives no calls until the statement expires', (t) => {
+  const build = (observedAt: number) => [
+    buildCandidate(buildPlain('l-1'), { statedLoad: { requests: 24, observedAt } }),
+    buildCandidate(buildPlain('l-2')),
+    buildCandidate(buildPlain('l-3')),
+  ];
+  t.is(countChosen(build(PLAIN_CRITERIA.now), 'l-1'), 0);
+  t.true(countChosen(build(PLAIN_CRITERIA.now - 1_001), 'l-1') > 20);
+});
+
+// Guards against an endpoint that attracts calls by statements of no load, whatever it states.
+test('no statement increases the share of the endpoint that makes it', (t) => {
+  const property = fc.property(
+    fc.nat(999_999),
+    fc.integer({ min: 0, max: 2_000 }),
+    fc.integer(),
+    (requests, ageMs, seed) => {
+      const load = { requests: 2, tokens: 0, waitingTokens: 0 };
+      const observedAt = PLAIN_CRITERIA.now - ageMs;
+      const silent = ['l-1', 'l-2', 'l-3'].map((id) => buildCandidate(buildPlain(id), { load }));
+      const stating = silent.map((candidate, index) =>
+        index === 0 ? { ...candidate, statedLoad: { requests, observedAt } } : candidate,
+      );
+      const choose = (candidates: typeof silent) =>
+        placeAttempt(candidates, PLAIN_CRITERIA, createRandomSource(seed))?.record.id;
+      return choose(stating) !== 'l-1' || choose(silent) === 'l-1';
+    },
+  );
+  t.notThrows(() => {
+    fc.assert(property, { seed: 5, numRuns: 300 });
+  });
+});
--- a/packages/decisions/forwarding/placeAttempt.ts
+++ b/packages/decisions/forwarding/placeAttempt.ts
@@ -16,11 +16,19 @@
   readonly waitingTokens: number;
 }
 
+/** Number of requests that an endpoint stated in an answer, those that wait included. */
+export interface StatedLoad {
+  readonly requests: number;
+  readonly observedAt: Millis;
+}
+
 /** An endpoint with the health and load on which its placement depends. */
 export interface Candidate {
   readonly record: EndpointRecord;
   readonly health: EndpointHealth;
   readonly load: EndpointLoad;
+  /** Null without a statement of this incarnation of the endpoint. */
+  readonly statedLoad: StatedLoad | null;
   /** Requests that this daemon may still send to a cold endpoint now; null when it is warm. */
   readonly coldHeadroom: number | null;
   /** Limit that the endpoint states; null without one. */
@@ -63,6 +71,12 @@
 /** Factor of the score of a plain endpoint in another data centre. */
 const REMOTE_PLAIN_FACTOR = 1.25;
 
+/** Age at which a stated load no longer counts; until then its weight falls in proportion. */
+const STATED_LOAD_VALIDITY_MS = 1_000;
+
+/** Largest stated load that counts, in multiples of the slots of the endpoint. */
+const MAX_STATED_LOAD_FACTOR = 3;
+
 /** Latency assumed for an endpoint that has not answered yet. */
 const DEFAULT_ANSWER_MS = 20;
 
@@ -128,29 +142,43 @@
   (coldHeadroom === null || coldHeadroom > 0) &&
   (limitHeadroom === null || limitHeadroom > 0);
 
+/**
+ * Counts the requests on an endpoint: those that the daemons report, or those that the endpoint
+ * stated if they are more. A statement includes the reported requests, so the two are not added; it
+ * never lowers the count, so that an endpoint cannot attract requests by it.
+ */
+const countRequests = ({ load, record, statedLoad }: Candidate, now: Millis): number => {
+  if (statedLoad === null) return load.requests;
+  const weight = Math.max(0, 1 - (now - statedLoad.observedAt) / STATED_LOAD_VALIDITY_MS);
+  const stated = Math.min(statedLoad.requests, MAX_STATED_LOAD_FACTOR * record.slots);
+  return Math.max(load.requests, stated * weight);
+};
+
 const isRemote = ({ dataCentre }: EndpointRecord, { homeDataCentre }: PlacementCriteria): boolean =>
   dataCentre !== homeDataCentre;
 
 const computePlainScore = (
-  { record, health, load }: Candidate,
+  candidate: Candidate,
   excessRate: number,
   criteria: PlacementCriteria,
 ): number => {
+  const { health, record } = candidate;
   const answerMs = health.answerMs ?? DEFAULT_ANSWER_MS;
-  const slotShare = load.requests / Math.max(1, record.slots);
+  const slotShare = countRequests(candidate, criteria.now) / Math.max(1, record.slots);
   const distance = isRemote(record, criteria) ? REMOTE_PLAIN_FACTOR : 1;
   return answerMs * (1 + 2 * slotShare) * distance + excessRate * FAILURE_COST * criteria.targetMs;
 };
 
 const computeEngineScore = (
-  { record, load }: Candidate,
+  candidate: Candidate,
   excessRate: number,
   criteria: PlacementCriteria,
 ): number => {
+  const { load, record } = candidate;
   const memory = criteria.service.engine?.memoryTokens ?? 1;
   const demand = criteria.demand === null ? 0 : estimatePeakTokens(criteria.demand);
   const memoryShare = (load.tokens + demand) / memory;
-  const slotShare = (load.requests + 1) / Math.max(1, record.slots);
+  const slotShare = (countRequests(candidate, criteria.now) + 1) / Math.max(1, record.slots);
   const utilization = Math.max(memoryShare, slotShare);
   // An engine over its capacity preempts running generations, which costs more than any queueing.
   const overflow = utilization > 1 ? (utilization - 1) * OVERFLOW_COST : 0;
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -35,6 +35,7 @@
     case 'data-centres-changed':
     case 'attempt-observed':
     case 'limit-observed':
+    case 'load-observed':
     case 'removal-due':
     case 'load-due':
     case 'save-due':
--- a/packages/gateway/endpoints/endpointClient.fixture.ts
+++ b/packages/gateway/endpoints/endpointClient.fixture.ts
@@ -8,6 +8,7 @@
   proof: 'none',
   encoding: 'plain',
   requestsPerSecond: null,
+  load: { kind: 'none' },
   framing: 'framed',
 };
 
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -80,6 +80,8 @@
       readonly requestsPerSecond: number | null;
       readonly observedAt: Millis;
     }
+  /** An answer of an endpoint stated the number of its requests, running and waiting. */
+  | { readonly kind: 'load-observed'; readonly endpoint: EndpointId; readonly requests: number }
   /** The engines whose registrations may be stale are to be polled for their state. */
   | { readonly kind: 'report-poll-due' }
   | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -28,8 +28,11 @@
  */
 export const MIN_REGISTRATIONS_PAUSE_MS = 350;
 
-/** Maximum share of `StalenessLimits.leavingMs` that a pause may take. */
-export const MAX_PAUSE_SHARE = 0.3;
+/**
+ * Maximum share of `StalenessLimits.leavingMs` that a pause may take. The daemon that reads first
+ * that an endpoint leaves reports it to the others, so the pause delays only new endpoints.
+ */
+export const MAX_PAUSE_SHARE = 0.55;
 
 /**
  * Time after a long poll on a stalled connection in which the overdue answer is detected and the
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -56,6 +56,7 @@
           leavingAt: null,
           removedAt: null,
           limit: null as StatedLimit | null,
+          statedLoad: null,
         },
       ]),
     ),
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -79,7 +79,7 @@
   const candidates: Candidate[] = [];
   const ownLoads = sumOwnLoads(requests);
   for (const known of membership.endpoints.values()) {
-    const { health, record, recordedAt } = known;
+    const { health, record, recordedAt, statedLoad } = known;
     if (record.service !== service || membership.dataCentresOut.has(record.dataCentre)) continue;
     if (record.version === moves.orders.get(service)?.targetVersion) continue;
     const own = ownLoads.get(record.id) ?? NO_LOAD;
@@ -88,6 +88,7 @@
       record,
       health,
       load: addLoads(own, sumPeerLoad(peers, record.id, now)),
+      statedLoad,
       coldHeadroom: isCold ? 0 : null,
       limit: buildLimit(known, peers, inputs, now),
       limitHeadroom: null,
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -185,3 +185,15 @@
   harness.change([register('e-1', { startedAt: 2 })]);
   t.is(getLimit(), undefined);
 });
+
+// Guards against a new incarnation of an endpoint that is taken to have the load of the one before.
+test('a stated load belongs to one incarnation of an endpoint', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  harness.post({ to: 'membership', kind: 'load-observed', endpoint: 'e-1', requests: 5 });
+  harness.post({ to: 'membership', kind: 'load-observed', endpoint: 'e-9', requests: 5 });
+  harness.change([register('e-1')]);
+  t.is(harness.getState().endpoints.get('e-1')?.statedLoad?.requests, 5);
+  harness.change([register('e-1', { startedAt: 2 })]);
+  t.is(harness.getState().endpoints.get('e-1')?.statedLoad, null);
+});
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -14,6 +14,7 @@
   AttemptObservation,
   EndpointHealth,
 } from '../../decisions/forwarding/endpointHealth.js';
+import type { StatedLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
 import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
@@ -37,6 +38,8 @@
   readonly removedAt: Millis | null;
   /** Null until the endpoint states a limit. */
   readonly limit: StatedLimit | null;
+  /** Null until this incarnation of the endpoint states its load in an answer. */
+  readonly statedLoad: StatedLoad | null;
 }
 
 /**
@@ -142,8 +145,15 @@
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
-  const limit = isNew ? null : known.limit;
-  endpoints.set(record.id, { record, health, recordedAt: now, leavingAt, removedAt: null, limit });
+  endpoints.set(record.id, {
+    record,
+    health,
+    recordedAt: now,
+    leavingAt,
+    removedAt: null,
+    limit: isNew ? null : known.limit,
+    statedLoad: isNew ? null : known.statedLoad,
+  });
   if (isNew) return [describeEndpoint(record, 'registered')];
   if (known.record.phase === record.phase) return [];
   const leaving = record.phase === 'leaving' ? notifyLeaving(record.id) : [];
@@ -281,6 +291,18 @@
   ];
 };
 
+const applyStatedLoad = (
+  { endpoints }: MembershipState,
+  id: EndpointId,
+  requests: number,
+  now: Millis,
+): Effects => {
+  const known = endpoints.get(id);
+  if (known !== undefined)
+    endpoints.set(id, { ...known, statedLoad: { requests, observedAt: now } });
+  return [];
+};
+
 const applyDelayedRemoval = (
   state: MembershipState,
   id: EndpointId,
@@ -341,6 +363,8 @@
         return { state, effects: applyObservation(state, event.endpoint, event.observation, now) };
       case 'limit-observed':
         return { state, effects: applyLimit(state, event) };
+      case 'load-observed':
+        return { state, effects: applyStatedLoad(state, event.endpoint, event.requests, now) };
       case 'report-poll-due':
         return { state, effects: [...readReports(state, listPolledEngines()), NEXT_REPORT_POLL] };
       case 'report-read':
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -13,6 +13,7 @@
 import { checkStreamEnd } from './transfers.js';
 import type { AttemptEnd } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
 import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
@@ -94,6 +95,33 @@
   ];
 };
 
+/** Reports the load that an answer states. */
+const reportLoad = ({ endpoint }: Attempt, { load }: AnswerHead): Effects => {
+  switch (load.kind) {
+    case 'none':
+      return [];
+    case 'malformed':
+      return [
+        {
+          kind: 'count',
+          name: 'gateway_malformed_loads_total',
+          labels: { service: endpoint.service },
+        },
+      ];
+    case 'stated': {
+      const requests = load.running + load.waiting;
+      return [
+        {
+          kind: 'post',
+          event: { to: 'membership', kind: 'load-observed', endpoint: endpoint.id, requests },
+        },
+      ];
+    }
+    default:
+      return assertNever(load);
+  }
+};
+
 /**
  * Validates and stores the head of an endpoint's answer.
  *
@@ -109,12 +137,12 @@
   head: AnswerHead,
   context: RequestsContext,
 ): Effects => {
-  const limit = reportLimit(attempt, head, context);
+  const reports = [...reportLimit(attempt, head, context), ...reportLoad(attempt, head)];
   const fault = findFault(forwarding, head);
-  if (fault !== null) return [...limit, ...endOpenAttempt(forwarding, attempt, fault, context)];
+  if (fault !== null) return [...reports, ...endOpenAttempt(forwarding, attempt, fault, context)];
   attempt.phase = 'answering';
   attempt.head = head;
-  return limit;
+  return reports;
 };
 
 const writeEvents = (
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -28,6 +28,7 @@
   proof: 'none',
   encoding: 'plain',
   requestsPerSecond: null,
+  load: { kind: 'none' },
   framing: 'framed',
 };
 
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -161,6 +161,17 @@
   readonly releaseCopy: (address: EndpointAddress, handle: string) => Promise<void>;
 }
 
+/** What an answer states about the load of its endpoint from all daemons together. */
+export type LoadStatement =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'malformed' }
+  | {
+      readonly kind: 'stated';
+      readonly running: number;
+      readonly waiting: number;
+      readonly slots: number;
+    };
+
 /** Head of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -177,6 +188,7 @@
    * has problems; null without a limit.
    */
   readonly requestsPerSecond: number | null;
+  readonly load: LoadStatement;
   /** Whether the answer has a length or chunks, or ends when its connection closes. */
   readonly framing: 'framed' | 'until-close';
 }
