--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -126,7 +126,9 @@
   clock: Clock,
   post: (event: EndpointEvent) => void,
 ): EngineClient => {
-  const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 1, bodyTimeout: 0 });
+  // Each request has a connection of its own (`pipelining: 0`). On a kept one, an answer that the
+  // endpoint writes again would be taken for that to the next request.
+  const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 0, bodyTimeout: 0 });
   const running = new Map<GenerationId, RunningGeneration>();
 
   const fetchJson = async (path: string): Promise<unknown> => {
