--- a/packages/decisions/forwarding/eventSplitter.test.ts
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { EMPTY_SPLITTER, splitEvents } from './eventSplitter.js';
+import { EMPTY_SPLITTER, hasOnlyComments, splitEvents } from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
 
 const toText = (bytes: Uint8Array): string => Buffer.from(bytes).toString('latin1');
@@ -54,3 +54,24 @@
   const result = splitEvents(EMPTY_SPLITTER, Buffer.alloc(300 * 1024, 'x'));
   t.is(result.outcome, 'too-large');
 });
+
+// Guards against a slow but sound stream that is cut because its endpoint sends comments or blank
+// lines to keep the connection open, and against comments that count as progress.
+test('comments and blank lines are part of the next event', (t) => {
+  const text = ': wait\n\n\n: wait\r\n\r\nid: 4\ndata: a\n\n: wait\n\n';
+  for (const size of [1, 2, 3, 5, 200]) {
+    let state = EMPTY_SPLITTER;
+    const events: StreamEvent[] = [];
+    for (let at = 0; at < text.length; at += size) {
+      const result = splitEvents(state, Buffer.from(text.slice(at, at + size)));
+      ({ state } = result);
+      events.push(...result.events);
+    }
+    t.deepEqual(
+      events.map(({ id }) => id),
+      ['4'],
+    );
+    t.is(Buffer.from(events[0]?.bytes ?? []).toString() + ': wait\n\n', text);
+    t.true(hasOnlyComments(state.rest));
+  }
+});
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -46,9 +46,22 @@
 const parseId = (bytes: Uint8Array): string | null =>
   ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.[1]?.trimEnd() ?? null;
 
+/**
+ * Reports whether bytes of a stream have comments and blank lines only, as endpoints send them to
+ * keep a connection open. They are neither an event nor progress of the stream.
+ *
+ * @param bytes - whole lines
+ * @returns true when no line belongs to an event
+ */
+export const hasOnlyComments = (bytes: Uint8Array): boolean =>
+  Buffer.from(bytes)
+    .toString('latin1')
+    .split('\n')
+    .every((line) => line.startsWith(':') || line.trim() === '');
+
 /**
  * Splits the bytes of an event stream into events at the blank lines, so that an event that an
- * endpoint sent only in part is never forwarded.
+ * endpoint sent only in part is never forwarded. Comments are part of the event after them.
  *
  * @param state - incomplete event from earlier chunks
  * @param chunk - received bytes
@@ -61,9 +74,11 @@
   let end = findEventEnd(bytes, Math.max(0, state.rest.length - 2));
   while (end !== -1) {
     const event = bytes.subarray(start, end);
-    events.push({ bytes: event, id: parseId(event) });
-    start = end;
-    end = findEventEnd(bytes, start);
+    if (!hasOnlyComments(event)) {
+      events.push({ bytes: event, id: parseId(event) });
+      start = end;
+    }
+    end = findEventEnd(bytes, end);
   }
   const rest = bytes.subarray(start);
   return { state: { rest }, events, outcome: rest.length > MAX_EVENT_BYTES ? 'too-large' : 'ok' };
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -16,7 +16,7 @@
 import { assertNever } from '../../core/assertNever.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
-import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
+import { hasOnlyComments, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
 import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
 import type { GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
@@ -244,7 +244,7 @@
 const endStream = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
   // The source of a transfer closes its stream, which for this framing looks like the end.
   if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt) === 'wait') return [];
-  const isInsideEvent = attempt.splitter.rest.length > 0;
+  const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
   if (isInsideEvent || forwarding.delivered === 'nothing') {
     const place = isInsideEvent ? 'inside an event' : 'without an event';
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -407,3 +407,51 @@
   const effects = [...failAttempt(harness, first), ...harness.wait(300)];
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'may-have-run');
 });
+
+// Guards against the error of a second endpoint, its head or its text, in the middle of a stream that
+// a first one began, and against such a stream that ends as if it were complete.
+test('an error of the next endpoint does not enter a stream that has begun', (t) => {
+  const heads: readonly AnswerHead[] = [
+    FAILED,
+    { ...FAILED, signature: 'unsigned', headers: ['Content-Type', 'application/json'] },
+    { ...SIGNED_HEAD, status: 404 },
+    { ...FAILED, framing: 'until-close' },
+    SIGNED_HEAD,
+  ];
+  for (const head of heads) {
+    const harness = createRequestsHarness();
+    const first = getOrder(harness.sendRequest('/summary/1'));
+    startAnswer(harness, first);
+    harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+    const second = getOrder(failAttempt(harness, first));
+    let effects = sendAnswer(harness, second, head, '{"error":"no model"}\n\n');
+    const later = [...effects];
+    for (let round = 0; round < 4 && findAttemptOrders(effects).length > 0; round += 1) {
+      effects = sendAnswer(harness, getOrder(effects), head, '{"error":"no model"}\n\n');
+      later.push(...effects);
+    }
+    for (const kind of ['write-answer', 'start-answer', 'send-whole', 'end-answer'] as const) {
+      t.is(findEffect(later, kind), undefined, `${kind} ${head.status.toString()}`);
+    }
+    t.truthy(findEffect(later, 'break-answer'));
+  }
+});
+
+// Guards against a sound stream that is cut or taken to be complete because of comments.
+test('a stream with comments between its events is forwarded byte by byte', (t) => {
+  const harness = createRequestsHarness();
+  const order = getOrder(harness.sendRequest('/summary/1'));
+  startAnswer(harness, order);
+  const parts = [': wait\n\n', buildEvents(1, 2), ': wait\n\n', buildEvents(3, 3)];
+  const effects = parts.flatMap((part) =>
+    harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: Buffer.from(part) }),
+  );
+  const written = effects.flatMap((effect) =>
+    effect.kind === 'write-answer' ? [Buffer.from(effect.bytes)] : [],
+  );
+  t.is(
+    Buffer.concat(written).toString(),
+    parts.map((part) => Buffer.from(part).toString()).join(''),
+  );
+  t.truthy(findEffect(harness.post({ ...toEvent(order), kind: 'answer-ended' }), 'end-answer'));
+});
