--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -40,6 +40,7 @@
     groups: { own: 'all', peers: hosts.map(({ host }) => host), others: new Map() },
     fullReportAt: 0,
     summarySentAt: 0,
+    changedAt: 0,
   };
 };
 
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -24,6 +24,9 @@
 export const SUMMARY_RECEIVERS = 4;
 export const MAX_SUMMARY_INTERVAL_MS = 800;
 
+/** Time after a change in which summaries are sent every `SUMMARY_INTERVAL_MS` at any size. */
+export const CHANGE_REPEAT_MS = 400;
+
 /** Minimum interval between two summaries that are sent at once because something changed. */
 export const MIN_SUMMARY_INTERVAL_MS = 40;
 
--- a/packages/gateway/peers/fleet.ts
+++ b/packages/gateway/peers/fleet.ts
@@ -39,6 +39,8 @@
   readonly groups: ReportGroups;
   readonly fullReportAt: Millis;
   readonly summarySentAt: Millis;
+  /** Instant of the last change that the other daemons were to learn of at once. */
+  readonly changedAt: Millis;
 }
 
 /**
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -1,4 +1,5 @@
 import {
+  CHANGE_REPEAT_MS,
   LEAVING_REPEAT_MS,
   MAX_PEER_LOAD_AGE_MS,
   MAX_REPORTED_HOSTS,
@@ -188,12 +189,15 @@
   return { ...state, groups };
 };
 
-/** Computes the interval between summaries, which grows with the number of their receivers. */
-const computeSummaryInterval = ({ groups }: PeersState): Millis =>
-  Math.min(
-    MAX_SUMMARY_INTERVAL_MS,
-    SUMMARY_INTERVAL_MS * Math.max(1, groups.others.size / SUMMARY_RECEIVERS),
-  );
+/**
+ * Computes the interval between summaries, which grows with the number of their receivers. After a
+ * change it is short, since the first summary with it may be lost.
+ */
+const computeSummaryInterval = ({ changedAt, groups }: PeersState, now: Millis): Millis => {
+  if (now - changedAt < CHANGE_REPEAT_MS) return SUMMARY_INTERVAL_MS;
+  const intervalMs = SUMMARY_INTERVAL_MS * Math.max(1, groups.others.size / SUMMARY_RECEIVERS);
+  return Math.min(MAX_SUMMARY_INTERVAL_MS, intervalMs);
+};
 
 const handleReportDue = (state: PeersState, inputs: PeersInputs) => {
   const now = inputs.clock.now();
@@ -206,7 +210,7 @@
   if (isFull) pruneFleet(state, now);
   const current = isFull ? { ...updateGroups(state, inputs), fullReportAt: now } : state;
   const own = buildReport(current, inputs, isFull ? 'quarantines' : 'recent');
-  const sent = sendMessages(current, own, inputs, computeSummaryInterval(current));
+  const sent = sendMessages(current, own, inputs, computeSummaryInterval(current, now));
   const seeds = isFull ? reportToSeeds(current, own, inputs) : [];
   return { state: sent.state, effects: [next, ...sent.effects, ...seeds] };
 };
@@ -348,6 +352,7 @@
         groups: splitFleet(inputs.self, [], inputs.hash),
         fullReportAt: 0,
         summarySentAt: 0,
+        changedAt: 0,
       },
       { kind: 'post', event: { to: 'peers', kind: 'report-due' } },
     ),
@@ -357,7 +362,7 @@
         return handleReportDue(state, inputs);
       case 'report-changed':
         return sendMessages(
-          state,
+          { ...state, changedAt: inputs.clock.now() },
           buildReport(state, inputs, 'recent'),
           inputs,
           MIN_SUMMARY_INTERVAL_MS,
