--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import {
   PEER_EXPIRY_MS,
   MAX_PEER_LOAD_AGE_MS,
@@ -8,7 +9,7 @@
 import { countDaemons, countPeerRequests, isPrecededByPeer, sumPeerLoad } from './fleet.js';
 import { decodePeerMessage } from './peerCodec.js';
 import { createPeersLogic } from './peers.js';
-import type { PeerReport } from './types.js';
+import type { GroupSummary, PeerReport } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
 import type { GatewayEffect, PeersEvent } from '../events.js';
@@ -218,3 +219,54 @@
   }
   t.is(decodePeerMessage(Buffer.from([0xff])), null);
 });
+
+const SUMMARY: GroupSummary = {
+  kind: 'summary',
+  format: 3,
+  group: 'dc-b/0/1',
+  hop: 'direct',
+  members: [['10.0.0.7', 'gateway-7', 'dc-b', 40]],
+  load: [['e-1', 2, 500, 100]],
+  transfers: [['e-1', 700, 'gateway-7']],
+  leaving: ['e-4'],
+  limits: [['e-1', 2.5, 400, 7]],
+  crashes: [['f', 'e-1', 'beginning', 300, ['g']]],
+  survivals: [['g', 200]],
+};
+
+// Guards against a datagram with values of a wrong type, or with rows that are too short or nested,
+// that ends the process or is applied in part.
+test('datagrams with any values are read or rejected without an error', (t) => {
+  const property = fc.property(
+    fc.constantFrom(MESSAGE, SUMMARY),
+    fc.dictionary(fc.constantFrom(...Object.keys({ ...MESSAGE, ...SUMMARY })), fc.jsonValue()),
+    (message, change) => {
+      const harness = createHarness();
+      const decoded = decodePeerMessage(Buffer.from(JSON.stringify({ ...message, ...change })));
+      if (decoded === null) return;
+      harness.post({
+        to: 'peers',
+        kind: 'peer-report-received',
+        host: '10.0.0.8',
+        message: decoded,
+      });
+      harness.post({ to: 'peers', kind: 'report-due' });
+    },
+  );
+  t.notThrows(() => {
+    fc.assert(property, { seed: 7, numRuns: 2_000 });
+  });
+  t.deepEqual(decodePeerMessage(Buffer.from(JSON.stringify(SUMMARY))), SUMMARY);
+});
+
+// Guards against a daemon of another group that counts as present for ever because of a wrong age.
+test('a member with a negative age expires', (t) => {
+  const harness = createHarness();
+  const members = [['10.0.0.7', 'gateway-7', 'dc-b', -1e12]] as const;
+  const message: GroupSummary = { ...SUMMARY, members };
+  harness.post({ to: 'peers', kind: 'peer-report-received', host: '10.0.0.7', message });
+  t.is(countDaemons(harness.getState()), 2);
+  harness.clock.advance(PEER_EXPIRY_MS + 1);
+  harness.post({ to: 'peers', kind: 'report-due' });
+  t.is(countDaemons(harness.getState()), 1);
+});
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -294,7 +294,7 @@
     const member = { host, process, dataCentre };
     const known = state.daemons.get(host);
     if (known === undefined) found.push(describeFound(member));
-    const heardAt = Math.max(known?.heardAt ?? 0, now - ageMs);
+    const heardAt = Math.max(known?.heardAt ?? 0, now - Math.max(0, ageMs));
     state.daemons.set(host, { ...member, heardAt });
   }
   const current = found.length > 0 ? updateGroups(state, inputs) : state;
