--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -2,7 +2,6 @@
   CHANGE_REPEAT_MS,
   LEAVING_REPEAT_MS,
   MAX_PEER_LOAD_AGE_MS,
-  MAX_REPORTED_HOSTS,
   MAX_REPORTED_LEAVING,
   MAX_REPORTED_LIMITS,
   MAX_REPORTED_LOAD_ROWS,
@@ -15,8 +14,9 @@
 } from './constants.js';
 import { readCrashMessage } from './crashReports.js';
 import type { CrashMessage, CrashReportScope } from './crashReports.js';
+import { listHostsFor } from './discovery.js';
 import { isLeader, pruneFleet } from './fleet.js';
-import type { KnownDaemon, PeersState } from './fleet.js';
+import type { PeersState } from './fleet.js';
 import { buildSummary, toReceived } from './summary.js';
 import type { MemberReport } from './summary.js';
 import type { GroupSummary, LimitRow, LoadRow, PeerMessage, PeerReport } from './types.js';
@@ -55,30 +55,6 @@
 
 const isLocalHost = (host: string, { self }: PeersInputs): boolean => host === self.host;
 
-/** Samples consecutive hosts from a random one on, so that all are named in turn. */
-const sampleHosts = (
-  daemons: readonly KnownDaemon[],
-  count: number,
-  { random }: PeersInputs,
-): readonly string[] => {
-  const start = Math.floor(random.next() * daemons.length);
-  return [...daemons.slice(start), ...daemons.slice(0, start)]
-    .slice(0, count)
-    .map(({ host }) => host);
-};
-
-/** Samples hosts for a daemon: half of them from its data centre, where its group is. */
-const listHostsFor = (
-  { dataCentre }: FleetMember,
-  { daemons }: PeersState,
-  inputs: PeersInputs,
-): readonly string[] => {
-  const all = [...daemons.values()];
-  const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
-  const hosts = sampleHosts(near, MAX_REPORTED_HOSTS / 2, inputs);
-  return [...new Set([...hosts, ...sampleHosts(all, MAX_REPORTED_HOSTS - hosts.length, inputs)])];
-};
-
 const buildReport = (
   state: PeersState,
   inputs: PeersInputs,
@@ -96,7 +72,7 @@
     limits: inputs.listLimits().slice(0, MAX_REPORTED_LIMITS),
     leaving: inputs.listLeaving(now - LEAVING_REPEAT_MS).slice(0, MAX_REPORTED_LEAVING),
     load: inputs.listOwnLoad().slice(0, MAX_REPORTED_LOAD_ROWS),
-    hosts: listHostsFor(inputs.self, state, inputs),
+    hosts: listHostsFor(inputs.self, state, inputs.random),
     wants: 'nothing',
   };
 };
@@ -275,7 +251,7 @@
   }
   // The regular reports do not go to a daemon of another group, which looks for its own.
   if (message.wants === 'hosts' && !isInGroup) {
-    const hosts = listHostsFor(member, current, inputs);
+    const hosts = listHostsFor(member, current, inputs.random);
     const own = { ...buildReport(current, inputs, 'recent'), hosts };
     effects.push({ kind: 'send-peers', hosts: [host], message: own });
   }
--- /dev/null
+++ b/packages/soak/applyFault.ts
@@ -0,0 +1,174 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import type { LinkProxy } from './linkProxy.js';
+import type { Soak } from './soakState.js';
+import type { LinkId, SoakFault } from './types.js';
+import { assertNever } from '../core/assertNever.js';
+import type { Millis } from '../core/clock.js';
+
+/** Time for which a draining worker continues to serve, in ms. */
+const WORKER_DRAIN_MS = 2_600;
+
+const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkId): LinkProxy | undefined => {
+  switch (link.kind) {
+    case 'store':
+      return storeLinks[link.gateway];
+    case 'worker':
+      return workerLinks[link.slot];
+    default:
+      return assertNever(link);
+  }
+};
+
+/**
+ * Starts a worker in a slot and registers it, unless the soak is over.
+ *
+ * @param soak - running soak
+ * @param slot - number of the slot
+ * @returns resolves when the worker accepts connections
+ */
+export const startSlot = async (soak: Soak, slot: number): Promise<void> => {
+  if (soak.phase === 'over') return;
+  const link = soak.workerLinks[slot];
+  const worker = await soak.platform.startWorker(slot);
+  soak.workers[slot] = worker;
+  link?.setTarget(worker.address);
+  if (link !== undefined) worker.register(link.address);
+};
+
+const drainSlot = async (
+  soak: Soak,
+  { durationMs, notice, slot }: Extract<SoakFault, { kind: 'worker-leave' }>,
+): Promise<void> => {
+  const worker = soak.workers[slot] ?? null;
+  if (worker === null) return;
+  soak.workers[slot] = null;
+  worker.leave(notice);
+  soak.changes.push({ kind: 'worker-leaving', workerId: worker.id, at: soak.clock.now() });
+  await wait(WORKER_DRAIN_MS);
+  worker.close();
+  await wait(durationMs);
+  await startSlot(soak, slot);
+};
+
+const failSlot = async (soak: Soak, slot: number, durationMs: Millis): Promise<void> => {
+  const worker = soak.workers[slot] ?? null;
+  if (worker === null) return;
+  soak.workers[slot] = null;
+  worker.crash();
+  await wait(durationMs);
+  await startSlot(soak, slot);
+};
+
+/**
+ * Reports whether time limits are suspended while the fault lasts. They stay in force during
+ * planned changes.
+ */
+const isDisruptive = ({ kind }: SoakFault): boolean => {
+  switch (kind) {
+    case 'kill':
+    case 'pause':
+    case 'terminate':
+    case 'link':
+    case 'store':
+    case 'compact-store':
+    case 'worker-crash':
+      return true;
+    case 'reload':
+    case 'worker-leave':
+    case 'configure':
+    case 'revoke-key':
+    case 'data-centre-out':
+      return false;
+    default:
+      return assertNever(kind);
+  }
+};
+
+const takeDataCentreOut = async (
+  soak: Soak,
+  dataCentre: number,
+  durationMs: Millis,
+): Promise<void> => {
+  const name = soak.platform.setDataCentreState(dataCentre, 'out');
+  const at = soak.clock.now();
+  await wait(durationMs);
+  soak.changes.push({
+    kind: 'data-centre-out',
+    dataCentre: name,
+    at,
+    until: soak.clock.now(),
+  });
+  soak.platform.setDataCentreState(dataCentre, 'in');
+};
+
+const performFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
+  const { gateways, platform } = soak;
+  switch (fault.kind) {
+    case 'kill':
+      gateways[fault.gateway]?.kill();
+      await wait(fault.durationMs);
+      gateways[fault.gateway]?.start();
+      return;
+    case 'pause':
+      gateways[fault.gateway]?.pause();
+      await wait(fault.durationMs);
+      gateways[fault.gateway]?.resume();
+      return;
+    case 'terminate':
+      gateways[fault.gateway]?.terminate();
+      return;
+    case 'reload':
+      gateways[fault.gateway]?.reload();
+      return;
+    case 'link': {
+      const link = findLink(soak, fault.link);
+      link?.setMode(fault.mode);
+      await wait(fault.durationMs);
+      link?.setMode('pass');
+      return;
+    }
+    case 'store':
+      platform.setStoreFault(fault.mode);
+      await wait(fault.durationMs);
+      platform.setStoreFault('none');
+      return;
+    case 'compact-store':
+      platform.compactStore();
+      return;
+    case 'worker-crash':
+      await failSlot(soak, fault.slot, fault.durationMs);
+      return;
+    case 'worker-leave':
+      await drainSlot(soak, fault);
+      return;
+    case 'configure':
+      platform.publishConfiguration();
+      return;
+    case 'revoke-key': {
+      const key = platform.revokeKey();
+      if (key !== null) soak.changes.push({ kind: 'key-revoked', key, at: soak.clock.now() });
+      return;
+    }
+    case 'data-centre-out':
+      await takeDataCentreOut(soak, fault.dataCentre, fault.durationMs);
+      return;
+    default:
+      assertNever(fault);
+  }
+};
+
+/**
+ * Injects a fault, undoes it after its duration, and records for how long time limits are suspended.
+ *
+ * @param soak - running soak
+ * @param fault - fault from the plan
+ * @returns resolves when the fault has been undone
+ */
+export const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
+  const from = soak.clock.now();
+  // The end is unknown until the fault has been undone.
+  const disruption = { from, until: Infinity };
+  if (isDisruptive(fault)) soak.disruptions.push(disruption);
+  await performFault(soak, fault);
+  disruption.until = soak.clock.now();
+};
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -1,5 +1,6 @@
 import { mkdirSync } from 'node:fs';
 import { setTimeout as wait } from 'node:timers/promises';
+import { applyFault, startSlot } from './applyFault.js';
 import { createCaller } from './caller.js';
 import { checkPromises } from './checkPromises.js';
 import {
@@ -14,24 +15,14 @@
   STREAM_TIMEOUT_MS,
 } from './constants.js';
 import { createGatewayProcess } from './gatewayProcess.js';
-import type { GatewayProcess } from './gatewayProcess.js';
 import { startLinkProxy } from './linkProxy.js';
-import type { LinkProxy } from './linkProxy.js';
 import { planSoak } from './planSoak.js';
-import type { SoakPlatform, SoakWorker, StartSoakPlatform } from './soakPlatform.js';
-import type {
-  CallKind,
-  CallRecord,
-  Disruption,
-  Finding,
-  LinkId,
-  PublishedChange,
-  SoakFault,
-  Termination,
-} from './types.js';
+import type { StartSoakPlatform } from './soakPlatform.js';
+import type { Soak } from './soakState.js';
+import type { CallKind, Finding, Termination } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import { createSystemClock } from '../core/clock.js';
-import type { Clock, Millis } from '../core/clock.js';
+import type { Millis } from '../core/clock.js';
 import type { RandomSource } from '../core/random.js';
 import { createSeededSource } from '../standins/common/seededSource.js';
 
@@ -67,181 +58,9 @@
 /** Pause of a caller between two requests, in ms. */
 const CALL_PAUSE_MS = 15;
 
-/** Time for which a draining worker continues to serve, in ms. */
-const WORKER_DRAIN_MS = 2_600;
-
 /** Kinds of requests, drawn with equal probability; a repeated kind is drawn more often. */
 const CALL_KINDS: readonly CallKind[] = ['once', 'once', 'idempotent', 'generation', 'resumable'];
 
-/** State and resources of a running soak. */
-interface Soak {
-  readonly clock: Clock;
-  readonly platform: SoakPlatform;
-  readonly gateways: readonly GatewayProcess[];
-  readonly hosts: readonly string[];
-  readonly storeLinks: readonly LinkProxy[];
-  readonly workerLinks: readonly LinkProxy[];
-  readonly workers: (SoakWorker | null)[];
-  readonly calls: CallRecord[];
-  readonly changes: PublishedChange[];
-  readonly terminations: Termination[];
-  readonly disruptions: Disruption[];
-  readonly findings: Finding[];
-  readonly startedAt: Millis;
-  phase: 'running' | 'over';
-}
-
-const findLink = ({ storeLinks, workerLinks }: Soak, link: LinkId): LinkProxy | undefined => {
-  switch (link.kind) {
-    case 'store':
-      return storeLinks[link.gateway];
-    case 'worker':
-      return workerLinks[link.slot];
-    default:
-      return assertNever(link);
-  }
-};
-
-const startSlot = async (soak: Soak, slot: number): Promise<void> => {
-  if (soak.phase === 'over') return;
-  const link = soak.workerLinks[slot];
-  const worker = await soak.platform.startWorker(slot);
-  soak.workers[slot] = worker;
-  link?.setTarget(worker.address);
-  if (link !== undefined) worker.register(link.address);
-};
-
-const drainSlot = async (
-  soak: Soak,
-  { durationMs, notice, slot }: Extract<SoakFault, { kind: 'worker-leave' }>,
-): Promise<void> => {
-  const worker = soak.workers[slot] ?? null;
-  if (worker === null) return;
-  soak.workers[slot] = null;
-  worker.leave(notice);
-  soak.changes.push({ kind: 'worker-leaving', workerId: worker.id, at: soak.clock.now() });
-  await wait(WORKER_DRAIN_MS);
-  worker.close();
-  await wait(durationMs);
-  await startSlot(soak, slot);
-};
-
-const failSlot = async (soak: Soak, slot: number, durationMs: Millis): Promise<void> => {
-  const worker = soak.workers[slot] ?? null;
-  if (worker === null) return;
-  soak.workers[slot] = null;
-  worker.crash();
-  await wait(durationMs);
-  await startSlot(soak, slot);
-};
-
-/**
- * Reports whether time limits are suspended while the fault lasts. They stay in force during
- * planned changes.
- */
-const isDisruptive = ({ kind }: SoakFault): boolean => {
-  switch (kind) {
-    case 'kill':
-    case 'pause':
-    case 'terminate':
-    case 'link':
-    case 'store':
-    case 'compact-store':
-    case 'worker-crash':
-      return true;
-    case 'reload':
-    case 'worker-leave':
-    case 'configure':
-    case 'revoke-key':
-    case 'data-centre-out':
-      return false;
-    default:
-      return assertNever(kind);
-  }
-};
-
-const takeDataCentreOut = async (
-  soak: Soak,
-  dataCentre: number,
-  durationMs: Millis,
-): Promise<void> => {
-  const name = soak.platform.setDataCentreState(dataCentre, 'out');
-  const at = soak.clock.now();
-  await wait(durationMs);
-  soak.changes.push({
-    kind: 'data-centre-out',
-    dataCentre: name,
-    at,
-    until: soak.clock.now(),
-  });
-  soak.platform.setDataCentreState(dataCentre, 'in');
-};
-
-const performFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
-  const { gateways, platform } = soak;
-  switch (fault.kind) {
-    case 'kill':
-      gateways[fault.gateway]?.kill();
-      await wait(fault.durationMs);
-      gateways[fault.gateway]?.start();
-      return;
-    case 'pause':
-      gateways[fault.gateway]?.pause();
-      await wait(fault.durationMs);
-      gateways[fault.gateway]?.resume();
-      return;
-    case 'terminate':
-      gateways[fault.gateway]?.terminate();
-      return;
-    case 'reload':
-      gateways[fault.gateway]?.reload();
-      return;
-    case 'link': {
-      const link = findLink(soak, fault.link);
-      link?.setMode(fault.mode);
-      await wait(fault.durationMs);
-      link?.setMode('pass');
-      return;
-    }
-    case 'store':
-      platform.setStoreFault(fault.mode);
-      await wait(fault.durationMs);
-      platform.setStoreFault('none');
-      return;
-    case 'compact-store':
-      platform.compactStore();
-      return;
-    case 'worker-crash':
-      await failSlot(soak, fault.slot, fault.durationMs);
-      return;
-    case 'worker-leave':
-      await drainSlot(soak, fault);
-      return;
-    case 'configure':
-      platform.publishConfiguration();
-      return;
-    case 'revoke-key': {
-      const key = platform.revokeKey();
-      if (key !== null) soak.changes.push({ kind: 'key-revoked', key, at: soak.clock.now() });
-      return;
-    }
-    case 'data-centre-out':
-      await takeDataCentreOut(soak, fault.dataCentre, fault.durationMs);
-      return;
-    default:
-      assertNever(fault);
-  }
-};
-
-const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
-  const from = soak.clock.now();
-  // The end is unknown until the fault has been undone.
-  const disruption = { from, until: Infinity };
-  if (isDisruptive(fault)) soak.disruptions.push(disruption);
-  await performFault(soak, fault);
-  disruption.until = soak.clock.now();
-};
-
 const getTimeout = (kind: CallKind): Millis => {
   switch (kind) {
     case 'once':
