--- a/app/runPageBlocks.ts
+++ b/app/runPageBlocks.ts
@@ -1,8 +1,8 @@
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { once } from 'node:events';
 import { cpSync, mkdirSync, readFileSync, readdirSync, symlinkSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import type { PageBlock } from './pageBlocks.js';
 import { assertNever } from '../packages/core/assertNever.js';
@@ -10,6 +10,9 @@
 /** Ports that the pages and the example settings use. */
 const PAGE_PORTS = ['8080', '8081', '8090', '8180', '8181', '8190'] as const;
 
+/** Maximum length of a server's error output in the report of a failed start. */
+const MAX_ERROR_CHARS = 4_000;
+
 /** Shell function that defines the `chestnutspan` command used on the pages. */
 const COMMAND_FUNCTION = 'chestnutspan() { node app/bin/chestnutspan.js "$@"; }';
 
@@ -26,13 +29,34 @@
   readonly stop: () => Promise<number | null>;
 }
 
-const findFreePort = async (): Promise<string> => {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port.toString();
+/**
+ * Range of the ports for pages. It is below the ports that the system assigns, so that no other test
+ * gets one of them before its server starts.
+ */
+const MIN_PORT = 20_000;
+const MAX_PORT = 32_000;
+
+const isFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+
+const findFreePorts = async (count: number): Promise<readonly string[]> => {
+  const ports: string[] = [];
+  let port = randomInt(MIN_PORT, MAX_PORT);
+  while (ports.length < count) {
+    if (await isFree(port)) ports.push(port.toString());
+    port = port === MAX_PORT ? MIN_PORT : port + 1;
+  }
+  return ports;
 };
 
 /**
@@ -41,7 +65,7 @@
  * @returns a function that replaces the ports in a string
  */
 export const createPortReplacer = async (): Promise<RunContext['replacePorts']> => {
-  const free = await Promise.all(PAGE_PORTS.map(findFreePort));
+  const free = await findFreePorts(PAGE_PORTS.length);
   const portMap = new Map(PAGE_PORTS.map((port, index) => [port as string, free[index] ?? port]));
   return (text) => text.replace(/\b8\d{3}\b/g, (port) => portMap.get(port) ?? port);
 };
@@ -66,17 +90,12 @@
   }
 };
 
-const startChild = (
-  argv: readonly string[],
-  { directory, environment }: RunContext,
-  output: 'collected' | 'dropped',
-) => {
+const startChild = (argv: readonly string[], { directory, environment }: RunContext) => {
   const [program = 'sh', ...rest] = argv;
-  const stream = output === 'collected' ? 'pipe' : 'ignore';
   return spawn(program, rest, {
     cwd: directory,
     env: { ...process.env, NODE_ENV: 'production', ...environment },
-    stdio: ['pipe', 'pipe', stream],
+    stdio: 'pipe',
   });
 };
 
@@ -85,24 +104,29 @@
   text: string,
   context: RunContext,
 ): Promise<{ readonly code: number | null; readonly output: string }> => {
-  const child = startChild(argv, context, 'collected');
+  const child = startChild(argv, context);
   let output = '';
   for (const stream of [child.stdout, child.stderr]) {
-    stream?.on('data', (data: Buffer) => (output += data.toString()));
+    stream.on('data', (data: Buffer) => (output += data.toString()));
   }
-  child.stdin?.end(text);
+  child.stdin.end(text);
   const [code] = (await once(child, 'close')) as [number | null];
   return { code, output };
 };
 
 /** Starts a server and waits until it prints its addresses; rejects if it exits before. */
 const startServer = async (line: string, context: RunContext): Promise<ServedProcess> => {
-  const child = startChild(['sh', '-c', `exec ${line}`], context, 'dropped');
+  const child = startChild(['sh', '-c', `exec ${line}`], context);
+  let errors = '';
+  child.stderr.on(
+    'data',
+    (data: Buffer) => (errors = (errors + data.toString()).slice(0, MAX_ERROR_CHARS)),
+  );
   const exited = once(child, 'exit') as Promise<[number | null]>;
-  const started = once(child.stdout ?? child, 'data').then(() => 'started' as const);
+  const started = once(child.stdout, 'data').then(() => 'started' as const);
   const first = await Promise.race([started, exited.then(([code]) => code)]);
-  if (first !== 'started') throw new Error(`"${line}" ended with ${String(first)}`);
-  child.stdout?.resume();
+  if (first !== 'started') throw new Error(`"${line}" ended with ${String(first)}\n${errors}`);
+  child.stdout.resume();
   return {
     stop: async () => {
       child.kill('SIGTERM');
@@ -124,6 +148,21 @@
   throw new Error(`the code block at ${formatLocation(block)} ${mismatch}\n${output}`);
 };
 
+/** Starts the servers of a block; if one does not start, those that did are stopped. */
+const startServers = async (
+  lines: readonly string[],
+  context: RunContext,
+): Promise<readonly ServedProcess[]> => {
+  const results = await Promise.allSettled(lines.map((line) => startServer(line, context)));
+  const servers = results.flatMap((result) =>
+    result.status === 'fulfilled' ? [result.value] : [],
+  );
+  const failed = results.find((result) => result.status === 'rejected');
+  if (failed === undefined) return servers;
+  await Promise.all(servers.map(({ stop }) => stop()));
+  throw failed.reason;
+};
+
 /**
  * Executes one block of a page.
  *
@@ -149,12 +188,7 @@
       return [];
     }
     case 'serve':
-      return Promise.all(
-        text
-          .trim()
-          .split('\n')
-          .map((line) => startServer(line, context)),
-      );
+      return startServers(text.trim().split('\n'), context);
     default:
       return assertNever(block.run);
   }
