Keep a stream at its silent endpoint until another one continues it

Callers saw: a stream that was cut although its endpoint was sound and only silent for a second or so.

Cause: after 540 ms without an event (three gap targets) the gateway closed the connection to the endpoint and looked for a continuation afterwards. If the holder of the copy was no candidate, the retry budget was spent, or the next endpoint refused, the caller's connection was closed. A continuation that waited for its first event at a busy endpoint was replaced in the same way, by a copy that does not exist. Class: a decision that cannot be undone is taken on the absence of a sign, before the alternative is known to work.

Change: a stream counts as stalled after 1.6 s, or twice the latency target if that is longer; a pause of more than the gap target is late in any case, and callers wait for four times the latency target. Then the continuation is opened first. The silent endpoint keeps its attempt for 300 ms more, in which a refusal arrives; the endpoint whose event comes first keeps the stream and the other is cancelled. Without an endpoint or a retry the stream stays where it is. An attempt that has not sent an event yet is not replaced. Each decision is logged as stream-stalled with its reason.

Evidence: all seven tests of silence.test.ts failed before.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -49,6 +49,7 @@
     case 'placement-due':
     case 'hedge-due':
     case 'stall-check-due':
+    case 'overlap-ended':
     case 'endpoint-leaving':
     case 'transfer-due':
     case 'report-changed':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -149,6 +149,8 @@
   | { readonly kind: 'placement-due'; readonly key: number }
   | { readonly kind: 'hedge-due'; readonly key: number; readonly attempt: number }
   | { readonly kind: 'stall-check-due'; readonly key: number; readonly attempt: number }
+  /** The time is over in which a silent endpoint may go on with a stream that another continues. */
+  | { readonly kind: 'overlap-ended'; readonly key: number; readonly attempt: number }
   | {
       readonly kind: 'transfer-ended';
       readonly key: number;
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -1,4 +1,4 @@
-import { cancelAttempts } from './attempts.js';
+import { cancelAttempts, cancelOtherAttempts } from './attempts.js';
 import { releaseCopy } from './generationCopy.js';
 import {
   END_EVENTS,
@@ -224,7 +224,14 @@
   const split = splitEvents(attempt.splitter, bytes);
   attempt.splitter = split.state;
   const { events, fault } = checkEventOrder(split.events, getProgress(forwarding));
-  const written = events.length === 0 ? [] : writeEvents(forwarding, attempt, events, context);
+  // The endpoint whose event comes first keeps a stream that another one continues.
+  const written =
+    events.length === 0
+      ? []
+      : [
+          ...cancelOtherAttempts(forwarding, attempt),
+          ...writeEvents(forwarding, attempt, events, context),
+        ];
   const message = split.outcome === 'too-large' ? 'an event is too large' : fault;
   if (message === null) return written;
   const end = { kind: 'garbled', message } as const;
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -4,13 +4,13 @@
   HEDGE_DELAY_SHARE,
   PLACEMENT_RETRY_MS,
   MAX_PLACEMENT_WAIT_SHARE,
-  MIN_STALL_TIMEOUT_MS,
-  STALL_GAP_FACTOR,
 } from './constants.js';
+import { computeStallTimeout } from './stallTimeout.js';
 import { applyRequestLimits, recordSent } from './requestLimits.js';
 import { checkRequestContent } from './content.js';
 import { refuseOverloaded, refuseQuarantined, refuseUnplaced } from './unplaced.js';
 import { releaseCopy } from './generationCopy.js';
+import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import type {
   Attempt,
@@ -20,7 +20,6 @@
   RequestsContext,
   RequestsInputs,
 } from './types.js';
-import type { Millis } from '../../core/clock.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
   hasCapacity,
@@ -34,15 +33,6 @@
 import type { GatewayEffect } from '../events.js';
 import type { CopyReference } from '../types.js';
 
-/**
- * Computes the time without an event after which a stream fails over to another endpoint.
- *
- * @param forwarding - request with its route
- * @returns the timeout
- */
-export const computeStallTimeout = ({ route }: Forwarding): Millis =>
-  Math.max(MIN_STALL_TIMEOUT_MS, (route.gapTargetMs ?? 0) * STALL_GAP_FACTOR);
-
 const listCandidates = (
   forwarding: Forwarding,
   { state, inputs }: RequestsContext,
@@ -108,6 +98,8 @@
 /** Endpoint and purpose of an attempt, and the copy from which it resumes. */
 export interface AttemptPlan {
   readonly candidate: Candidate;
+  /** Endpoints from which the one of the backup is chosen. */
+  readonly candidates: readonly Candidate[];
   readonly purpose: AttemptPurpose;
   /** Copy of the generation's memory to resume from; null for other attempts. */
   readonly copy: CopyReference | null;
@@ -118,17 +110,16 @@
  *
  * @param forwarding - request
  * @param plan - endpoint and purpose
- * @param candidates - endpoints from which the one of the backup is chosen
  * @param context - state and inputs
  * @returns effects that send the request
  */
 export const openAttempt = (
   forwarding: Forwarding,
   plan: AttemptPlan,
-  candidates: readonly Candidate[],
   context: RequestsContext,
 ): Effects => {
   const { state, inputs } = context;
+  const { candidates } = plan;
   const { customer, request, route, service } = forwarding;
   const now = inputs.clock.now();
   const endpoint = plan.candidate.record;
@@ -201,6 +192,11 @@
   ];
 };
 
+const cancelAttempt = ({ request }: Forwarding, attempt: Attempt): Effects => [
+  { kind: 'cancel-attempt', key: request.key, attempt: attempt.number },
+  ...releaseCopy(attempt),
+];
+
 /**
  * Cancels all running attempts of a request.
  *
@@ -210,11 +206,20 @@
 export const cancelAttempts = (forwarding: Forwarding): Effects => {
   const running = [...forwarding.attempts.values()];
   forwarding.attempts.clear();
-  const { key } = forwarding.request;
-  return running.flatMap((attempt): Effects => [
-    { kind: 'cancel-attempt', key, attempt: attempt.number },
-    ...releaseCopy(attempt),
-  ]);
+  return running.flatMap((attempt) => cancelAttempt(forwarding, attempt));
+};
+
+/**
+ * Cancels the running attempts of a request but one.
+ *
+ * @param forwarding - request
+ * @param kept - attempt that goes on
+ * @returns effects that close the connections of the others and release their copies
+ */
+export const cancelOtherAttempts = (forwarding: Forwarding, kept: Attempt): Effects => {
+  const others = [...forwarding.attempts.values()].filter((attempt) => attempt !== kept);
+  for (const { number } of others) forwarding.attempts.delete(number);
+  return others.flatMap((attempt) => cancelAttempt(forwarding, attempt));
 };
 
 /**
@@ -248,7 +253,7 @@
       !hasCapacity(candidate, criteria) && waitedMs < route.targetMs * MAX_CAPACITY_WAIT_SHARE;
     if (isWaitingForCapacity) return [retryPlacement];
     if (isOverloaded(candidate, criteria)) return refuseOverloaded(forwarding, context);
-    return openAttempt(forwarding, { candidate, purpose, copy: null }, candidates, context);
+    return openAttempt(forwarding, { candidate, candidates, purpose, copy: null }, context);
   }
   if (waitedMs < route.targetMs * MAX_PLACEMENT_WAIT_SHARE) return [retryPlacement];
   const isLimited = candidates.some(({ limitHeadroom }) => limitHeadroom !== null);
@@ -260,28 +265,66 @@
   left.id === right.id && left.startedAt === right.startedAt;
 
 /**
- * Resumes a generation at the endpoint that holds its copy.
+ * Plans an attempt that resumes a generation at the endpoint that holds its copy.
  *
- * @param forwarding - request whose attempt ended or is replaced
- * @param endpoint - endpoint that holds the copy
- * @param copy - reference to the copy
+ * @param forwarding - request
+ * @param location - endpoint that holds the copy, and the reference to it
  * @param context - state and inputs
- * @returns effects, or null when that endpoint is not available
+ * @returns the plan, or null when that endpoint is not available
  */
-export const resumeFromCopy = (
+export const planFromCopy = (
   forwarding: Forwarding,
-  endpoint: EndpointRecord,
-  copy: CopyReference,
+  { holder, name }: CopyLocation,
   context: RequestsContext,
-): Effects | null => {
+): AttemptPlan | null => {
   const candidates = listCandidates(forwarding, context);
   // An endpoint that restarted under the same id has lost the copy.
-  const candidate = candidates.find(({ record }) => isSameIncarnation(record, endpoint));
-  if (candidate === undefined) return null;
+  const candidate = candidates.find(({ record }) => isSameIncarnation(record, holder));
+  return candidate === undefined
+    ? null
+    : { candidate, candidates, purpose: 'continuation', copy: name };
+};
+
+/**
+ * Plans an attempt at another endpoint beside those that are running.
+ *
+ * @param forwarding - request with a running attempt
+ * @param purpose - purpose of the attempt
+ * @param context - state and inputs
+ * @returns the plan, or null when no other endpoint has capacity
+ */
+export const planFurtherAttempt = (
+  forwarding: Forwarding,
+  purpose: AttemptPurpose,
+  context: RequestsContext,
+): AttemptPlan | null => {
+  const { inputs } = context;
+  const running = new Set([...forwarding.attempts.values()].map(({ endpoint }) => endpoint.id));
+  const candidates = listCandidates(forwarding, context).filter(
+    ({ record }) => !running.has(record.id),
+  );
+  const criteria = buildCriteria(forwarding, inputs);
+  const candidate = placeAttempt(candidates, criteria, inputs.random);
+  if (candidate === null || !hasCapacity(candidate, criteria)) return null;
+  return { candidate, candidates, purpose, copy: null };
+};
+
+/**
+ * Starts an attempt that continues a stream which another attempt began.
+ *
+ * @param forwarding - request whose attempt ended or is replaced
+ * @param plan - endpoint, and the copy of the generation if one is used
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const openContinuation = (
+  forwarding: Forwarding,
+  plan: AttemptPlan,
+  context: RequestsContext,
+): Effects => {
   // The generation has started before, so a refusal of this attempt does not permit a second run.
   forwarding.verdict = 'may-have-run';
-  const plan = { candidate, purpose: 'continuation', copy } as const;
-  return openAttempt(forwarding, plan, candidates, context);
+  return openAttempt(forwarding, plan, context);
 };
 
 /**
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -13,14 +13,20 @@
 /** Share of the latency target after which an idempotent request without an answer is hedged. */
 export const HEDGE_DELAY_SHARE = 0.6;
 
-/** Stall timeout of a stream, in multiples of its gap target; the stream then fails over. */
-export const STALL_GAP_FACTOR = 3;
+/**
+ * Minimum stall timeout of a stream. A sound endpoint may fall silent for a second or so, and callers
+ * wait for at least two seconds.
+ */
+export const MIN_STALL_TIMEOUT_MS = 1_600;
+
+/** Stall timeout, in multiples of the latency target; callers wait for four times the target. */
+export const STALL_TARGET_FACTOR = 2;
 
 /**
- * Minimum stall timeout. The tokens of a running request are delayed while its engine processes the
- * prompts of others.
+ * Time for which a silent endpoint keeps its attempt while another endpoint continues the stream. An
+ * endpoint that refuses does so within it, and two endpoints may work on one generation for 400 ms.
  */
-export const MIN_STALL_TIMEOUT_MS = 450;
+export const CONTINUATION_OVERLAP_MS = 300;
 
 /** Number of attempts that did not run a request after which it is refused. */
 export const MAX_NOT_RUN_ATTEMPTS = 4;
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,5 +1,5 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
-import { cancelAttempts, computeStallTimeout, placeRequest } from './attempts.js';
+import { cancelAttempts, placeRequest } from './attempts.js';
 import {
   DRAIN_ACCEPT_MS,
   DRAIN_RETRY_AFTER_MS,
@@ -11,10 +11,10 @@
   UNREADY_RETRY_AFTER_SHARE,
 } from './constants.js';
 import { checkRequestContent, createQuarantineFailure } from './content.js';
-import { findCopy } from './generationCopy.js';
 import { checkStreamEnd, endTransferStep, drainEndpoint, startNextTransfer } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
-import { endAttempt, expireRequest, getBudget, sendHedge } from './retrying.js';
+import { expireRequest, getBudget, sendHedge } from './retrying.js';
+import { checkStall, endSilentAttempt } from './silence.js';
 import type {
   Attempt,
   Effects,
@@ -177,35 +177,6 @@
   ];
 };
 
-const checkStall = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  context: RequestsContext,
-): Effects => {
-  const { key } = forwarding.request;
-  const stallTimeoutMs = computeStallTimeout(forwarding);
-  const stalledMs = context.inputs.clock.now() - attempt.lastEventAt;
-  const canResume =
-    attempt.transfer === null &&
-    (findCopy(attempt) !== null || forwarding.route.resume === 'resumable');
-  // Before its first event, a request may be queued at the endpoint.
-  if (stalledMs < stallTimeoutMs || !canResume || forwarding.delivered === 'nothing') {
-    const delayMs = stalledMs < stallTimeoutMs ? stallTimeoutMs - stalledMs : stallTimeoutMs;
-    const event = {
-      to: 'requests',
-      kind: 'stall-check-due',
-      key,
-      attempt: attempt.number,
-    } as const;
-    return [{ kind: 'schedule', delayMs, event }];
-  }
-  const message = `no event for ${Math.round(stalledMs).toString()} ms`;
-  return [
-    { kind: 'cancel-attempt', key, attempt: attempt.number },
-    ...endAttempt(forwarding, attempt, { kind: 'silent', message }, context),
-  ];
-};
-
 const handleAttemptEvent = (
   event: Extract<RequestsEvent, { attempt: number }>,
   forwarding: Forwarding,
@@ -234,6 +205,8 @@
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'stall-check-due':
       return checkStall(forwarding, attempt, context);
+    case 'overlap-ended':
+      return endSilentAttempt(forwarding, attempt, context);
     default:
       return assertNever(event);
   }
@@ -261,7 +234,8 @@
     case 'transfer-ended':
     case 'endpoint-probed':
     case 'hedge-due':
-    case 'stall-check-due': {
+    case 'stall-check-due':
+    case 'overlap-ended': {
       const attempt = forwarding.attempts.get(event.attempt);
       return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
     }
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,4 +1,4 @@
-import { cancelAttempts, resumeFromCopy, placeRequest } from './attempts.js';
+import { cancelAttempts, openContinuation, placeRequest, planFromCopy } from './attempts.js';
 import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
@@ -25,7 +25,7 @@
   | { readonly kind: 'refused'; readonly message: string }
   /** The endpoint answered with an error, which the caller gets if no other attempt succeeds. */
   | { readonly kind: 'failed-answer'; readonly message: string }
-  /** No event arrived within the stall timeout. */
+  /** No event arrived within the stall timeout, and another endpoint continues the stream. */
   | { readonly kind: 'silent'; readonly message: string };
 
 /**
@@ -43,7 +43,17 @@
   return window;
 };
 
-const takeFromBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
+/**
+ * Takes one retry from the budget of a request's service.
+ *
+ * @param forwarding - request
+ * @param context - state and inputs
+ * @returns `spent` when the budget permits no retry now
+ */
+export const takeFromBudget = (
+  forwarding: Forwarding,
+  context: RequestsContext,
+): 'taken' | 'spent' => {
   const { clock, countDaemons, getLiveSettings } = context.inputs;
   const window = getBudget(forwarding, context);
   return takeRetry(window, getLiveSettings().budget, countDaemons(), clock.now());
@@ -156,9 +166,9 @@
     return failRequest(forwarding, end.message, context);
   }
   const copy = findCopy(attempt);
-  if (copy !== null && takeFromBudget(forwarding, context) === 'taken') {
-    const resumed = resumeFromCopy(forwarding, copy.holder, copy.name, context);
-    if (resumed !== null) return resumed;
+  const plan = copy === null ? null : planFromCopy(forwarding, copy, context);
+  if (plan !== null && takeFromBudget(forwarding, context) === 'taken') {
+    return openContinuation(forwarding, plan, context);
   }
   const hasAttempts = forwarding.possibleRuns < route.maxEndpoints;
   if (!isRetryable(forwarding) || !hasAttempts)
--- /dev/null
+++ b/packages/gateway/requests/silence.test.ts
@@ -0,0 +1,160 @@
+import test from 'ava';
+import {
+  buildEvents,
+  createRequestsHarness,
+  findAttemptOrders,
+  findEffect,
+  SIGNED_HEAD,
+} from './requests.fixture.js';
+import type { RequestsHarness } from './requests.fixture.js';
+import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AnswerHead } from '../types.js';
+
+/** Silence of a sound endpoint, which is no reason to end an answer. */
+const SHORT_SILENCE_MS = 1_500;
+
+/** Silence after which a stream is continued at another endpoint. */
+const LONG_SILENCE_MS = 3_700;
+
+/** Time for which two endpoints may work on the same generation. */
+const MAX_OVERLAP_MS = 400;
+
+const REFUSED: AnswerHead = {
+  ...SIGNED_HEAD,
+  status: 503,
+  signature: 'unsigned',
+  proof: 'not-run',
+};
+
+const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
+
+const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
+  const [order] = findAttemptOrders(effects);
+  if (order === undefined) throw new Error('no attempt was opened');
+  return order;
+};
+
+const startAnswer = (harness: RequestsHarness, order: AttemptOrder, head = SIGNED_HEAD) => {
+  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  return harness.post({ ...toEvent(order), kind: 'answer-started', head });
+};
+
+const sendEvents = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) =>
+  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(from, to) });
+
+const startStream = (harness: RequestsHarness, path: string): AttemptOrder => {
+  const order = getOrder(harness.sendRequest(path));
+  startAnswer(harness, order);
+  sendEvents(harness, order, 1, 3);
+  return order;
+};
+
+const findWritten = (effects: readonly GatewayEffect[]) =>
+  findEffect(effects, 'write-answer')?.bytes;
+
+// Guards against a stream that is taken from a sound endpoint because it fell silent for a second or
+// so: the next endpoint may refuse it, and the caller's connection would be closed.
+test('a stream stays at an endpoint that falls silent for a second or so', (t) => {
+  for (const path of ['/memo/1', '/summary/1']) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, path);
+    const silent = harness.wait(SHORT_SILENCE_MS);
+    t.is(findEffect(silent, 'cancel-attempt'), undefined);
+    t.deepEqual(findAttemptOrders(silent), []);
+    t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+  }
+});
+
+// Guards against a lost stream when the endpoint that should continue it refuses, although the
+// silent one goes on.
+test('a stream stays at its silent endpoint when the continuation is refused', (t) => {
+  for (const path of ['/memo/1', '/summary/1']) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, path);
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+    t.not(continuation.head.endpointId, order.head.endpointId);
+    const refused = startAnswer(harness, continuation, REFUSED);
+    t.is(findEffect(refused, 'break-answer'), undefined);
+    t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
+    t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+    const ended = harness.post({ ...toEvent(order), kind: 'answer-ended' });
+    t.truthy(findEffect(ended, 'end-answer'));
+  }
+});
+
+// Guards against a lost stream when no endpoint can continue it, although the silent one goes on.
+test('a stream stays at its silent endpoint when no other can continue it', (t) => {
+  for (const path of ['/memo/1', '/summary/1']) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, path);
+    harness.endpoints.splice(
+      0,
+      harness.endpoints.length,
+      ...harness.endpoints.filter(({ id }) => id === order.head.endpointId),
+    );
+    const silent = harness.wait(LONG_SILENCE_MS * 2);
+    t.is(findEffect(silent, 'break-answer'), undefined);
+    t.is(findEffect(silent, 'cancel-attempt'), undefined);
+    t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+  }
+});
+
+// Guards against a lost stream when the retry budget does not permit a continuation.
+test('a stream stays at its silent endpoint when the retry budget is spent', (t) => {
+  const harness = createRequestsHarness();
+  harness.setRetries('spent');
+  const order = startStream(harness, '/memo/1');
+  const silent = harness.wait(LONG_SILENCE_MS);
+  t.is(findEffect(silent, 'break-answer'), undefined);
+  t.deepEqual(findAttemptOrders(silent), []);
+  t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+});
+
+// Guards against two endpoints that work on one generation for longer than the users allow.
+test('the silent endpoint is cancelled soon after its stream is continued', (t) => {
+  for (const path of ['/memo/1', '/summary/1']) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, path);
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+    startAnswer(harness, continuation);
+    const effects = harness.wait(MAX_OVERLAP_MS);
+    t.is(findEffect(effects, 'cancel-attempt')?.attempt, order.attempt);
+    t.is(continuation.head.lastEventId, '3');
+    const written = sendEvents(harness, continuation, 4, 5);
+    t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 5)));
+  }
+});
+
+// Guards against events that the caller gets twice, and against work for nobody, when the silent
+// endpoint goes on while its stream is being continued.
+test('the endpoint whose event comes first keeps the stream', (t) => {
+  for (const winner of ['silent', 'continuation'] as const) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/memo/1');
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+    startAnswer(harness, continuation);
+    const [first, second] = winner === 'silent' ? [order, continuation] : [continuation, order];
+    const effects = sendEvents(harness, first, 4, 4);
+    t.deepEqual(findWritten(effects), Buffer.from(buildEvents(4, 4)));
+    t.is(findEffect(effects, 'cancel-attempt')?.attempt, second.attempt);
+    t.is(findWritten(sendEvents(harness, second, 4, 5)), undefined);
+    t.deepEqual(findWritten(sendEvents(harness, first, 5, 5)), Buffer.from(buildEvents(5, 5)));
+    t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
+  }
+});
+
+// Guards against a lost stream because the endpoint that continues it takes long to begin: the
+// request waits there, and a second copy does not exist.
+test('a continuation that waits for its first event is not replaced', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  const failure = { kind: 'broken', message: 'reset' } as const;
+  const broken = harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
+  const continuation = getOrder(broken);
+  startAnswer(harness, continuation);
+  const waited = harness.wait(LONG_SILENCE_MS * 2);
+  t.is(findEffect(waited, 'cancel-attempt'), undefined);
+  t.deepEqual(findAttemptOrders(waited), []);
+  const written = sendEvents(harness, continuation, 4, 5);
+  t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 5)));
+});
--- /dev/null
+++ b/packages/gateway/requests/silence.ts
@@ -0,0 +1,130 @@
+import { openContinuation, planFromCopy, planFurtherAttempt } from './attempts.js';
+import type { AttemptPlan } from './attempts.js';
+import { CONTINUATION_OVERLAP_MS } from './constants.js';
+import { checkRequestContent } from './content.js';
+import { findCopy } from './generationCopy.js';
+import { endAttempt, takeFromBudget } from './retrying.js';
+import { computeStallTimeout } from './stallTimeout.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import type { GatewayEffect } from '../events.js';
+
+/** What is done about a stream whose endpoint is silent. */
+type SilenceResponse = 'continued' | 'no-endpoint' | 'budget-spent';
+
+const scheduleStallCheck = (
+  { request }: Forwarding,
+  attempt: Attempt,
+  delayMs: Millis,
+): GatewayEffect => ({
+  kind: 'schedule',
+  delayMs,
+  event: { to: 'requests', kind: 'stall-check-due', key: request.key, attempt: attempt.number },
+});
+
+const scheduleOverlapEnd = ({ request }: Forwarding, { number }: Attempt): GatewayEffect => ({
+  kind: 'schedule',
+  delayMs: CONTINUATION_OVERLAP_MS,
+  event: { to: 'requests', kind: 'overlap-ended', key: request.key, attempt: number },
+});
+
+const describeSilence = (
+  { lastEventId, request, route }: Forwarding,
+  { endpoint, events, number }: Attempt,
+  silentMs: Millis,
+  response: SilenceResponse,
+): GatewayEffect => ({
+  kind: 'log',
+  name: 'stream-stalled',
+  details: {
+    requestId: request.id,
+    endpoint: endpoint.id,
+    entity: route.name,
+    data: {
+      attempt: number,
+      silentMs: Math.round(silentMs),
+      events,
+      lastEventId: lastEventId ?? '',
+      response,
+    },
+  },
+});
+
+/** Plans the continuation of a stream that its endpoint does not have to give up. */
+const planContinuation = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): AttemptPlan | null => {
+  if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return null;
+  const copy = findCopy(attempt);
+  if (copy !== null) return planFromCopy(forwarding, copy, context);
+  const { attempts, possibleRuns, route } = forwarding;
+  const canResume =
+    route.resume === 'resumable' && possibleRuns + attempts.size < route.maxEndpoints;
+  return canResume ? planFurtherAttempt(forwarding, 'continuation', context) : null;
+};
+
+/**
+ * Checks whether a stream has stalled, and continues it at another endpoint if one can. The silent
+ * endpoint keeps its attempt until the continuation is under way: it may be sound and go on, whereas
+ * the other endpoint may refuse.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is checked
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const checkStall = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const stallTimeoutMs = computeStallTimeout(forwarding);
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  if (silentMs < stallTimeoutMs) {
+    return [scheduleStallCheck(forwarding, attempt, stallTimeoutMs - silentMs)];
+  }
+  const nextCheck = scheduleStallCheck(forwarding, attempt, stallTimeoutMs);
+  const isEnding = attempt.transfer !== null || attempt.failure !== null;
+  // Before its first event, a request may be queued at the endpoint.
+  if (attempt.events === 0 || isEnding || forwarding.attempts.size > 1) return [nextCheck];
+  const describe = (response: SilenceResponse): GatewayEffect =>
+    describeSilence(forwarding, attempt, silentMs, response);
+  const plan = planContinuation(forwarding, attempt, context);
+  if (plan === null) return [describe('no-endpoint'), nextCheck];
+  if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
+  // The continuation uses the copy, so the end of this attempt must not release it.
+  attempt.copy = null;
+  return [
+    describe('continued'),
+    ...openContinuation(forwarding, plan, context),
+    scheduleOverlapEnd(forwarding, attempt),
+    nextCheck,
+  ];
+};
+
+/**
+ * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that was silent when its continuation started
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const endSilentAttempt = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const others = [...forwarding.attempts.values()].filter((other) => other !== attempt);
+  if (others.length === 0) return [];
+  const isContinued = others.some(({ phase }) => phase !== 'connecting');
+  if (!isContinued) return [scheduleOverlapEnd(forwarding, attempt)];
+  const silentMs = Math.round(context.inputs.clock.now() - attempt.lastEventAt);
+  const end = { kind: 'silent', message: `no event for ${silentMs.toString()} ms` } as const;
+  return [
+    { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
+    ...endAttempt(forwarding, attempt, end, context),
+  ];
+};
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,4 +1,4 @@
-import { chooseTransferTarget, resumeFromCopy } from './attempts.js';
+import { chooseTransferTarget, openContinuation, planFromCopy } from './attempts.js';
 import {
   MAX_TRANSFER_TRIES,
   TRANSFER_CHECK_MS,
@@ -182,12 +182,14 @@
 ): Effects => {
   const { attempt, forwarding } = run;
   const { key } = forwarding.request;
-  forwarding.attempts.delete(attempt.number);
-  const resumed = resumeFromCopy(forwarding, endpoint, copy, context);
-  if (resumed !== null) {
-    return [{ kind: 'cancel-attempt', key, attempt: attempt.number }, ...resumed];
+  const plan = planFromCopy(forwarding, { holder: endpoint, name: copy }, context);
+  if (plan !== null) {
+    forwarding.attempts.delete(attempt.number);
+    return [
+      { kind: 'cancel-attempt', key, attempt: attempt.number },
+      ...openContinuation(forwarding, plan, context),
+    ];
   }
-  forwarding.attempts.set(attempt.number, attempt);
   const end = {
     kind: 'broken',
     message: 'the endpoint that holds the copy is not available',
