Keep a call at its endpoint when no other can take its hedge

Callers saw: a refusal with the verdict not-run for an idempotent call that an endpoint was running, and whose answer was dropped when it came.

Cause: a hedge was placed like a first attempt, and a placement without an endpoint ends the request. The endpoint that was only slow or silent for a moment lost its request, and its connection was not even closed.

Change: a hedge is planned first and sent only if another endpoint can take it; it uses no retry of the budget otherwise. A hedge no longer goes to the endpoint that runs the request already.

Evidence: "a call stays at its endpoint when there is none for a hedge" failed before (the call was refused).

--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -141,6 +141,19 @@
   t.is(harness.countOpen(), 0);
 });
 
+// Guards against refusing a call that an endpoint is running, because no other endpoint is left for a
+// hedge: the caller would be told that it has not run, and its answer would be dropped.
+test('a call stays at its endpoint when there is none for a hedge', (t) => {
+  const harness = createRequestsHarness();
+  const first = getOrder(harness.sendRequest('/lookup/1'));
+  reportSent(harness, first);
+  const all = harness.endpoints.splice(0, harness.endpoints.length);
+  t.is(findEffect(harness.wait(100), 'refuse'), undefined);
+  harness.endpoints.push(...all.filter(({ id }) => id === first.head.endpointId));
+  t.deepEqual(findAttemptOrders(harness.wait(100)), []);
+  t.truthy(findEffect(sendAnswer(harness, first, SIGNED_HEAD, 'ok'), 'send-whole'));
+});
+
 // Guards against hedging a call that must run at most once.
 test('a non-idempotent call is not hedged', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,4 +1,11 @@
-import { cancelAttempts, openContinuation, placeRequest, planFromCopy } from './attempts.js';
+import {
+  cancelAttempts,
+  openAttempt,
+  openContinuation,
+  placeRequest,
+  planFromCopy,
+  planFurtherAttempt,
+} from './attempts.js';
 import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
@@ -232,6 +239,7 @@
 
 /**
  * Hedges an idempotent request: sends it to a second endpoint while the first has not answered.
+ * Without a second endpoint the first attempt goes on alone.
  *
  * @param forwarding - request with one running attempt
  * @param context - state and inputs
@@ -241,8 +249,9 @@
   const runs = forwarding.possibleRuns + forwarding.attempts.size;
   if (runs >= forwarding.route.maxEndpoints) return [];
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return [];
-  if (takeFromBudget(forwarding, context) === 'spent') return [];
-  return placeRequest(forwarding, 'hedge', context);
+  const plan = planFurtherAttempt(forwarding, 'hedge', context);
+  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return [];
+  return openAttempt(forwarding, plan, context);
 };
 
 /**
