Answer every request that was read before a drained daemon ends

Callers saw: late in a planned stop, requests were taken and passed on, and at the end of the grace period their connections ended with neither an answer nor a refusal, among them requests that may not be repeated.

Cause: three gaps at the end of a drain. A request was admitted by an estimate of the time that it needs, which an endpoint that falls silent exceeds. What was left when the grace period was over was cut by the end of the process. A request whose body was complete only after the idle connections were closed was still passed on, and the process ended 150 ms later; the drain did not count requests that were being read, nor answers that were not flushed. Class: work is admitted without a bound that holds, and the end of the process is not a step that answers for what was admitted.

Change: once the balancer sends no more connections, a request is admitted only if its whole time (the timeout of its route or its caller's) ends before the daemon does; the rest is refused as not run. When the drain ends, the requests that are left are answered, with the verdict that holds for each, and every later one is refused. Then idle connections are closed, once what was written is sent, and the process ends. Only streams that have begun are broken off, as nothing else is true for them.

An older test expected a stream with a timeout of 39 s to be admitted 5 s before the end because its estimate was short; it now expects what the bound permits.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -54,6 +54,7 @@
     case 'transfer-due':
     case 'report-changed':
     case 'drain-started':
+    case 'drain-ended':
     case 'drain-checked':
       return 'control';
     default:
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -165,6 +165,8 @@
       readonly result: ProbeResult;
     }
   | { readonly kind: 'content-quarantined' }
+  /** The daemon ends soon; the requests that are left get their last answer. */
+  | { readonly kind: 'drain-ended' }
   | { readonly kind: 'transfer-due'; readonly source: EndpointId }
   | { readonly kind: 'endpoint-leaving'; readonly endpoint: EndpointId }
 );
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import {
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
@@ -27,6 +28,8 @@
     headerTimeoutMs: Millis,
     maxBodyBytes: number,
   ) => void;
+  /** Counts the connections with bytes that the system has not taken yet. */
+  readonly countUnsent: () => number;
   readonly closeIdle: () => void;
   readonly close: () => void;
 }
@@ -135,6 +138,11 @@
       void accept(incoming, response);
     },
   );
+  const connections = new Set<Socket>();
+  server.on('connection', (socket) => {
+    connections.add(socket);
+    socket.on('close', () => connections.delete(socket));
+  });
   server.on('clientError', (error, socket) => {
     // Reports only parse errors; a broken connection is handled by the `close` of its request.
     const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
@@ -157,6 +165,7 @@
       server.headersTimeout = headerTimeoutMs;
       buffers.maxBodyBytes = maxBodyBytes;
     },
+    countUnsent: () => [...connections].filter(({ writableLength }) => writableLength > 0).length,
     closeIdle: () => {
       server.close();
       server.closeIdleConnections();
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -10,6 +10,9 @@
 /** Time before the end of the grace period at which a draining daemon stops in any case. */
 export const GRACE_MARGIN_MS = 500;
 
+/** Time for sending the last answers before the idle connections are closed. */
+export const FINAL_ANSWER_GRACE_MS = 100;
+
 /** Time for sending the last written bytes after the idle connections are closed. */
 export const CLOSE_IDLE_GRACE_MS = 150;
 
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
-import { MIN_DRAIN_MS, GRACE_MARGIN_MS } from './constants.js';
-import { createGateLogic } from './gate.js';
+import {
+  CLOSE_IDLE_GRACE_MS,
+  FINAL_ANSWER_GRACE_MS,
+  GRACE_MARGIN_MS,
+  MIN_DRAIN_MS,
+} from './constants.js';
+import { computeDrain, createGateLogic } from './gate.js';
 import type { GateState } from './gate.js';
 import { createVirtualClock } from '../../core/clock.js';
 import type { FrontendEvent } from '../events.js';
@@ -11,6 +16,7 @@
   let state: GateState = logic.init().state;
   return {
     clock,
+    getDrain: () => computeDrain(state, clock.now(), 8_000),
     post: (event: FrontendEvent) => {
       const step = logic.decide(state, event);
       ({ state } = step);
@@ -29,17 +35,38 @@
   harness.clock.advance(MIN_DRAIN_MS - 10);
   t.deepEqual(harness.post(CHECKED), ['schedule']);
   harness.clock.advance(20);
+  t.deepEqual(harness.post(CHECKED), ['post', 'schedule']);
+  harness.clock.advance(100);
   t.deepEqual(harness.post(CHECKED), ['close-idle', 'schedule']);
   harness.clock.advance(1_000);
   t.deepEqual(harness.post(CHECKED), ['end-process']);
 });
 
-// Guards against a daemon that is killed before it has reported the requests in progress.
-test('a busy daemon stops before its grace period ends', (t) => {
+// Guards against a daemon that is killed before it has reported the requests in progress, and against
+// requests that are cut without an answer because the grace period is over.
+test('a busy daemon answers what is left and stops before its grace period ends', (t) => {
   const harness = createHarness({ count: 3 });
   harness.post({ to: 'frontend', kind: 'drain-started' });
   harness.clock.advance(8_000 - GRACE_MARGIN_MS - 10);
   t.deepEqual(harness.post(CHECKED), ['schedule']);
   harness.clock.advance(20);
+  t.deepEqual(harness.post(CHECKED), ['post', 'schedule']);
+  t.deepEqual(harness.getDrain(), { drainedMs: 8_000 - GRACE_MARGIN_MS + 10, leftMs: 0 });
+  t.deepEqual(harness.post(CHECKED), ['schedule']);
+  harness.clock.advance(FINAL_ANSWER_GRACE_MS);
+  t.deepEqual(harness.post(CHECKED), ['close-idle', 'schedule']);
+  harness.clock.advance(CLOSE_IDLE_GRACE_MS);
+  t.deepEqual(harness.post(CHECKED), ['end-process']);
+  t.true(harness.clock.now() < 8_000);
+});
+
+// Guards against a request that is passed on by a daemon without work, shortly before it ends.
+test('a daemon that has drained early leaves no time for further requests', (t) => {
+  const harness = createHarness({ count: 0 });
+  harness.post({ to: 'frontend', kind: 'drain-started' });
+  harness.clock.advance(MIN_DRAIN_MS);
+  t.deepEqual(harness.post(CHECKED), ['post', 'schedule']);
+  t.is(harness.getDrain()?.leftMs, 0);
   t.deepEqual(harness.post(CHECKED), ['close-idle', 'schedule']);
+  t.is(harness.getDrain()?.leftMs, 0);
 });
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -1,4 +1,10 @@
-import { CLOSE_IDLE_GRACE_MS, DRAIN_CHECK_MS, MIN_DRAIN_MS, GRACE_MARGIN_MS } from './constants.js';
+import {
+  CLOSE_IDLE_GRACE_MS,
+  DRAIN_CHECK_MS,
+  FINAL_ANSWER_GRACE_MS,
+  GRACE_MARGIN_MS,
+  MIN_DRAIN_MS,
+} from './constants.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -11,12 +17,16 @@
 export type GateState =
   | { readonly phase: 'accepting' }
   | { readonly phase: 'draining'; readonly drainedAt: Millis }
+  /** Requests that are left have been answered, and every further one is refused. */
+  | { readonly phase: 'ending'; readonly drainedAt: Millis; readonly endedAt: Millis }
+  /** Idle connections have been closed. */
   | { readonly phase: 'closing'; readonly drainedAt: Millis; readonly closedAt: Millis };
 
 export interface GateInputs {
   readonly clock: Clock;
   /** Returns the time from the stop signal until the platform kills the process. */
   readonly getGraceMs: () => Millis;
+  /** Counts the requests whose answers have not been sent completely. */
   readonly countOpen: () => number;
 }
 
@@ -29,9 +39,19 @@
  * @returns the times, or null while the daemon is not draining
  */
 export const computeDrain = (state: GateState, now: Millis, graceMs: Millis): DrainTimes | null => {
-  if (state.phase === 'accepting') return null;
-  const drainedMs = now - state.drainedAt;
-  return { drainedMs, leftMs: graceMs - GRACE_MARGIN_MS - drainedMs };
+  switch (state.phase) {
+    case 'accepting':
+      return null;
+    case 'draining': {
+      const drainedMs = now - state.drainedAt;
+      return { drainedMs, leftMs: graceMs - GRACE_MARGIN_MS - drainedMs };
+    }
+    case 'ending':
+    case 'closing':
+      return { drainedMs: now - state.drainedAt, leftMs: 0 };
+    default:
+      return assertNever(state);
+  }
 };
 
 const NEXT_DRAIN_CHECK: GatewayEffect = {
@@ -52,12 +72,20 @@
       const isOverdue = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
       if (!isDrained && !isOverdue)
         return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
+      return toStep<GateState, GatewayEffect>(
+        { phase: 'ending', drainedAt: state.drainedAt, endedAt: now },
+        { kind: 'post', event: { to: 'requests', kind: 'drain-ended' } },
+        NEXT_DRAIN_CHECK,
+      );
+    }
+    case 'ending':
+      if (left > 0 && now - state.endedAt < FINAL_ANSWER_GRACE_MS)
+        return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
         NEXT_DRAIN_CHECK,
       );
-    }
     case 'closing':
       return now - state.closedAt < CLOSE_IDLE_GRACE_MS
         ? toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK)
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -12,6 +12,8 @@
 export interface Responders {
   readonly open: (key: number, requestId: string, response: ServerResponse) => void;
   readonly has: (key: number) => boolean;
+  /** Counts the answers that have not been ended, those to requests that are being read included. */
+  readonly count: () => number;
   /** Removes the answer of a caller that disconnected. */
   readonly remove: (key: number) => void;
   readonly startAnswer: (key: number, head: AnswerHead) => void;
@@ -107,6 +109,7 @@
       open.set(key, { requestId, response });
     },
     has: (key) => open.has(key),
+    count: () => open.size,
     remove: (key) => {
       open.delete(key);
     },
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -50,19 +50,6 @@
  */
 export const DRAIN_ACCEPT_MS = 2_600;
 
-/**
- * Time that a request is expected to take late in a drain, apart from its output: the latency
- * target of its route times this factor, plus a margin.
- */
-export const DRAIN_TARGET_FACTOR = 2;
-export const DRAIN_MARGIN_MS = 200;
-
-/**
- * Expected time per output token of a stream late in a drain. It is that of a slow engine, since
- * estimates of the output are often too low.
- */
-export const DRAIN_TOKEN_MS = 30;
-
 /** Retry-after of a request that a draining daemon refuses; the retry reaches another daemon. */
 export const DRAIN_RETRY_AFTER_MS = 50;
 
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -349,12 +349,36 @@
 test('a draining daemon admits no stream that takes longer than its remaining time', (t) => {
   const harness = createRequestsHarness();
   harness.setDrain({ drainedMs: 3_000, leftMs: 5_000 });
-  const short = { ...DEMAND, expectedOutputTokens: 20 };
-  t.is(findAttemptOrders(harness.sendRequest('/summary/1', { demand: short })).length, 1);
-  const refused = findEffect(harness.sendRequest('/summary/1'), 'refuse');
+  const inTime = { callerTimeoutMs: 4_900 };
+  t.is(findAttemptOrders(harness.sendRequest('/summary/1', inTime)).length, 1);
+  const late = { callerTimeoutMs: 5_100, demand: { ...DEMAND, expectedOutputTokens: 20 } };
+  const refused = findEffect(harness.sendRequest('/summary/1', late), 'refuse');
   t.is(refused?.failure.code, 'draining');
 });
 
+// Guards against a request that was read whole and gets neither an answer nor a refusal when the
+// daemon ends, and against a refusal that says that a request has not run although it may have.
+test('the requests that are left at the end of a drain are answered', (t) => {
+  const harness = createRequestsHarness();
+  const sent = getOrder(harness.sendRequest('/sweep/1'));
+  reportSent(harness, sent);
+  const connecting = getOrder(harness.sendRequest('/sweep/2'));
+  const begun = getOrder(harness.sendRequest('/memo/1'));
+  startAnswer(harness, begun);
+  harness.post({ ...toEvent(begun), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+  const effects = harness.post({ to: 'requests', kind: 'drain-ended' });
+  const refusals = effects.flatMap((effect) =>
+    effect.kind === 'refuse' ? [[effect.key, effect.failure.verdict]] : [],
+  );
+  t.deepEqual(refusals, [
+    [sent.key, 'may-have-run'],
+    [connecting.key, 'not-run'],
+  ]);
+  t.is(findEffect(effects, 'break-answer')?.key, begun.key);
+  t.is(effects.filter(({ kind }) => kind === 'cancel-attempt').length, 3);
+  t.is(harness.countOpen(), 0);
+});
+
 // Guards against an answer that looks complete although its stream ended inside an event.
 test('a stream that ends inside an event is broken off', (t) => {
   for (const framing of ['framed', 'until-close'] as const) {
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -3,9 +3,6 @@
 import {
   DRAIN_ACCEPT_MS,
   DRAIN_RETRY_AFTER_MS,
-  DRAIN_MARGIN_MS,
-  DRAIN_TARGET_FACTOR,
-  DRAIN_TOKEN_MS,
   MAX_REQUESTS,
   UNREADY_RETRY_AFTER_MAX_MS,
   UNREADY_RETRY_AFTER_SHARE,
@@ -13,7 +10,7 @@
 import { checkRequestContent, createQuarantineFailure } from './content.js';
 import { checkStreamEnd, endTransferStep, drainEndpoint, startNextTransfer } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
-import { expireRequest, getBudget, sendHedge } from './retrying.js';
+import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
 import { checkStall, endSilentAttempt } from './silence.js';
 import type {
   Attempt,
@@ -27,7 +24,6 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
-import { estimateOutput } from '../../decisions/forwarding/placeAttempt.js';
 import { countRequest } from '../../decisions/forwarding/retryBudget.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
@@ -61,22 +57,20 @@
 };
 
 /**
- * Reports whether a draining daemon would end before it finishes a request. Once the balancer sends
- * no more connections, no long generation is admitted, as the end of the process would interrupt
- * it.
+ * Reports whether a draining daemon may end before it finishes a request. Once the balancer sends no
+ * more connections, only requests are admitted whose time ends before: an endpoint may fall silent,
+ * and a stream that has begun cannot be answered in any other way. The caller's retry reaches another
+ * daemon.
  */
 const isTooLongForDrain = (
   route: Route,
-  { demand }: ForwardRequest,
+  { callerTimeoutMs }: ForwardRequest,
   { getDrain }: RequestsInputs,
 ): boolean => {
   const drain = getDrain();
-  if (drain === null || drain.drainedMs < DRAIN_ACCEPT_MS) return false;
-  const isLong = route.answer === 'stream' && route.resume === 'single-run';
-  const outputMs = demand === null ? 0 : estimateOutput(demand) * DRAIN_TOKEN_MS;
-  const firstEventMs = route.targetMs * DRAIN_TARGET_FACTOR + DRAIN_MARGIN_MS;
-  const neededMs = Math.min(route.timeoutMs, firstEventMs + outputMs);
-  return isLong || neededMs > drain.leftMs;
+  if (drain === null) return false;
+  if (drain.drainedMs < DRAIN_ACCEPT_MS && drain.leftMs > 0) return false;
+  return Math.min(route.timeoutMs, callerTimeoutMs ?? Infinity) > drain.leftMs;
 };
 
 const createForwarding = (
@@ -217,6 +211,7 @@
   if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   if (event.kind === 'content-quarantined') return cancelQuarantined(context);
+  if (event.kind === 'drain-ended') return endForDrain(context);
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -254,6 +254,26 @@
   return openAttempt(forwarding, plan, context);
 };
 
+const recordPossibleRun = (forwarding: Forwarding): void => {
+  const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
+  if (isSent) forwarding.verdict = 'may-have-run';
+};
+
+/**
+ * Ends all requests that are left when the daemon ends. A caller that has been sent nothing gets an
+ * answer instead of the end of its connection.
+ *
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const endForDrain = (context: RequestsContext): Effects =>
+  [...context.state.inFlight.values()].flatMap((forwarding) => {
+    recordPossibleRun(forwarding);
+    const cancelled = cancelAttempts(forwarding);
+    const reason = 'the daemon ends before the answer is complete';
+    return [...cancelled, ...failRequest(forwarding, reason, context)];
+  });
+
 /**
  * Ends a request at its deadline.
  *
@@ -262,8 +282,7 @@
  * @returns effects
  */
 export const expireRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
-  const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
-  if (isSent) forwarding.verdict = 'may-have-run';
+  recordPossibleRun(forwarding);
   const observations = [...forwarding.attempts.values()].map(({ endpoint }): GatewayEffect => ({
     kind: 'post',
     event: {
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -223,7 +223,7 @@
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
-      countOpen: () => states.requests.inFlight.size,
+      countOpen: () => cradle.responders.count() + cradle.callers.countUnsent(),
     }),
   };
 };
