Resume a generation at its source when the target of its transfer refuses

Callers saw: a stream that was cut while its engine left as planned, although the engine still had the generation.

Cause: the second step of a transfer stops the generation at its source. If the target then refused the continuation, the stream was given up, while the source keeps the memory of the generation under the same handle. Class: as with silent endpoints, one alternative is taken for the only one.

Change: the attempt at the target remembers the source and the handle, and a target that did not run the request is replaced by the source, once. A refusal there ends the stream as before; it is never started anew.

Evidence: the test of the refused target expected the cut; it now expects the resumption at the source and still the cut, without another attempt, when that is refused too.

--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -103,6 +103,8 @@
   readonly purpose: AttemptPurpose;
   /** Copy of the generation's memory to resume from; null for other attempts. */
   readonly copy: CopyReference | null;
+  /** Copy to resume from if the endpoint refuses. */
+  readonly fallback?: CopyLocation;
 }
 
 /**
@@ -141,6 +143,7 @@
     events: 0,
     transfer: null,
     copy: null,
+    fallback: plan.fallback ?? null,
     refusedTargets: new Set(),
     streamState: 'open',
     failure: null,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -186,12 +186,27 @@
   return placeRequest(forwarding, 'retry', context);
 };
 
+/** Resumes a generation that the target of its transfer refused at the endpoint that stopped it. */
+const resumeAtFallback = (
+  forwarding: Forwarding,
+  { endpoint, fallback }: Attempt,
+  context: RequestsContext,
+): Effects | null => {
+  if (fallback === null || fallback.holder.id === endpoint.id) return null;
+  const plan = planFromCopy(forwarding, fallback, context);
+  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return null;
+  return openContinuation(forwarding, plan, context);
+};
+
 const retryNotRun = (
   forwarding: Forwarding,
+  attempt: Attempt,
   end: AttemptEnd,
   context: RequestsContext,
 ): Effects => {
   forwarding.notRunAttempts += 1;
+  const resumed = resumeAtFallback(forwarding, attempt, context);
+  if (resumed !== null) return resumed;
   // An earlier attempt may have run the request, and this one would have resumed from its copy.
   if (forwarding.verdict !== 'not-run' && !isRetryable(forwarding)) {
     return failRequest(forwarding, end.message, context);
@@ -232,7 +247,7 @@
   // Another attempt is still running and may answer.
   if (forwarding.attempts.size > 0) return described;
   const next = isNotRun
-    ? retryNotRun(forwarding, end, context)
+    ? retryNotRun(forwarding, attempt, end, context)
     : retryAfterPossibleRun(forwarding, attempt, end, context);
   return [...described, ...next];
 };
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -181,18 +181,26 @@
   t.truthy(findEffect(effects, 'break-answer'));
 });
 
-// Guards against a second run of a generation whose target refuses it after the source stopped it:
-// its caller would get parts of two runs (found on clt-pool, trouble-1, seed 164376420051).
-test('a generation that its target refuses after a transfer is not restarted', (t) => {
+// Guards against a lost generation, and against a second run of it, when its target refuses it after
+// the source stopped it: its caller would get nothing more, or parts of two runs (found on clt-pool,
+// trouble-1, seed 164376420051).
+test('a generation that its target refuses after a transfer resumes at its source only', (t) => {
   const harness = createRequestsHarness();
   const [order] = startMemos(harness, 1) as [AttemptOrder];
   postLeaving(harness);
   endStep(harness, order, COPIED);
   const [next] = findAttemptOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
-  harness.post({ ...toEvent(next), kind: 'attempt-sent' });
   const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
   const head = { ...SIGNED_HEAD, ...refusal, requestId: 'r-0' };
-  const effects = harness.post({ ...toEvent(next), kind: 'answer-started', head });
+  const refuse = (refused: AttemptOrder) => {
+    harness.post({ ...toEvent(refused), kind: 'attempt-sent' });
+    return harness.post({ ...toEvent(refused), kind: 'answer-started', head });
+  };
+  const [back] = findAttemptOrders(refuse(next)) as [AttemptOrder];
+  t.deepEqual(back.address, order.address);
+  t.deepEqual(back.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
+  t.is(back.head.lastEventId, '9');
+  const effects = refuse(back);
   t.deepEqual(findAttemptOrders([...effects, ...harness.wait(500)]), []);
   t.truthy(findEffect(effects, 'break-answer'));
 });
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -187,7 +187,11 @@
     forwarding.attempts.delete(attempt.number);
     return [
       { kind: 'cancel-attempt', key, attempt: attempt.number },
-      ...openContinuation(forwarding, plan, context),
+      ...openContinuation(
+        forwarding,
+        { ...plan, fallback: { holder: attempt.endpoint, name: copy } },
+        context,
+      ),
     ];
   }
   const end = {
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,3 +1,4 @@
+import type { CopyLocation } from './generationCopy.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 import type { AnswerHead, LiveSettings } from '../types.js';
 import type { Clock, Millis } from '../../core/clock.js';
@@ -66,6 +67,11 @@
   transfer: Transfer | null;
   /** Copy of the generation that a transfer made; null without one. */
   copy: TransferredCopy | null;
+  /**
+   * Endpoint that stopped the generation for a transfer and still has its memory, from which it can
+   * resume if this endpoint refuses; null for other attempts.
+   */
+  readonly fallback: CopyLocation | null;
   /** Endpoints that refused a transfer of the generation for lack of capacity. */
   readonly refusedTargets: Set<EndpointId>;
   /** Whether the endpoint's stream can still deliver events. */
