Log why a request got no complete answer and who closed its connection

Cause: a request can end without an answer or a refusal, and the logs don't tell which connection was closed by whom, in which phase and under which configuration version. The HTTP server also closes connections by itself: on the idle and the header timeout and when it stops listening.

Change: a tracker of the callers' connections records the first cause of each close and logs `request-abandoned` (2030) when the caller closed and `request-cut` (2031) when this daemon did, with the phase, the times, the attempts, the configuration version at arrival and now, and the drain. One line `requests-left` (2032) at the end of the process counts what was cut. The lines request-placed, -finished, -failed and -cancelled have the version under which the request was accepted. No close, timeout or answer changes: the listeners are on sockets and responses, where the HTTP server doesn't count them.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -311,6 +311,21 @@
     level: 'info',
     text: 'The bytes received from a caller are not a valid request.',
   },
+  'request-abandoned': {
+    number: 2030,
+    level: 'info',
+    text: 'The caller closed its connection before its request was answered completely.',
+  },
+  'request-cut': {
+    number: 2031,
+    level: 'info',
+    text: 'This daemon closed the connection of a request that was not answered completely.',
+  },
+  'requests-left': {
+    number: 2032,
+    level: 'info',
+    text: 'The requests that the end of the process left without a complete answer.',
+  },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { ConnectionTracker } from './connections.js';
 import {
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
@@ -16,6 +17,7 @@
   readonly codec: HeadCodec;
   readonly clock: Clock;
   readonly responders: Responders;
+  readonly connections: ConnectionTracker;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
 }
@@ -86,6 +88,15 @@
 );
 const QUEUE_FULL = createFailure('not-run', 'overloaded', 'the event queue is full', 200);
 
+const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Tells why the HTTP server reports an error; other codes are those of broken connections. */
+const classifyClientError = (error: Error): 'unreadable' | 'header-timeout' | 'caller' => {
+  const code = 'code' in error ? String(error.code) : '';
+  if (code.startsWith('HPE_')) return 'unreadable';
+  return code === HEADER_TIMEOUT_CODE ? 'header-timeout' : 'caller';
+};
+
 /**
  * Creates the server for callers. It reads the whole body before it posts a request, since a retry
  * sends the body again.
@@ -94,7 +105,7 @@
  * @returns the server, not yet listening
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-  const { codec, clock, responders } = options;
+  const { codec, clock, connections, responders } = options;
   const buffers: BodyBuffers = { bufferedBytes: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
   let nextKey = 1;
 
@@ -108,6 +119,7 @@
     const key = nextKey;
     nextKey += 1;
     responders.open(key, head.id, response);
+    connections.trackRequest(key, head.id, incoming, response);
     const result = await readBody(incoming, buffers);
     switch (result.kind) {
       case 'broken':
@@ -135,9 +147,11 @@
       void accept(incoming, response);
     },
   );
+  server.on('connection', connections.trackConnection);
   server.on('clientError', (error, socket) => {
     // Reports only parse errors; a broken connection is handled by the `close` of its request.
-    const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
+    const isUnreadable = classifyClientError(error) === 'unreadable';
+    connections.recordSocketCause(socket, classifyClientError(error));
     if (isUnreadable) responders.reportUnreadable(error);
     if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
     else socket.destroy();
@@ -156,12 +170,15 @@
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
       buffers.maxBodyBytes = maxBodyBytes;
+      connections.recordConfiguration();
     },
     closeIdle: () => {
       server.close();
       server.closeIdleConnections();
+      connections.recordClosed('drain-ended');
     },
     close: () => {
+      connections.reportLeft();
       server.closeAllConnections();
     },
   };
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -27,3 +27,6 @@
 
 /** Limit of the connections that wait to be accepted. */
 export const LISTEN_BACKLOG = 1_024;
+
+/** Limit of the request ids in the report on the requests that the end of the process cuts. */
+export const MAX_LISTED_REQUESTS = 20;
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from 'node:http';
+import type { ConnectionTracker } from './connections.js';
 import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
+import type { ConnectionEndCause } from './types.js';
 import type { Failure } from '../../core/verdict.js';
 import { toProblem } from '../../wire/problem.js';
 import type { AnswerHead } from '../types.js';
@@ -20,8 +22,9 @@
   readonly endAnswer: (key: number) => void;
   readonly sendWhole: (key: number, head: AnswerHead, body: Uint8Array) => void;
   readonly refuse: (key: number, failure: Failure) => void;
-  /** Closes the connection without completing the answer. */
-  readonly breakAnswer: (key: number) => void;
+  /** Closes the connection without completing the answer; the cause is logged. */
+  readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
+  /** Refuses all requests after the loss of their state. */
   readonly refuseAll: (failure: Failure) => void;
   /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
@@ -45,10 +48,14 @@
 /**
  * Creates the table of open answers.
  *
+ * @param connections - records the writes, and why connections are closed
  * @param onUnreadable - receives errors of connections whose bytes are not a valid request
  * @returns the empty table
  */
-export const createResponders = (onUnreadable: (error: Error) => void): Responders => {
+export const createResponders = (
+  connections: Pick<ConnectionTracker, 'recordCause' | 'recordWrite'>,
+  onUnreadable: (error: Error) => void,
+): Responders => {
   const open = new Map<number, OpenAnswer>();
   let phase: 'serving' | 'draining' = 'serving';
 
@@ -64,6 +71,7 @@
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
     const answer = removeAnswer(key);
     if (answer === undefined) return;
+    connections.recordWrite(key);
     const { response } = answer;
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
     const isFramed = hasBody && head.framing === 'framed';
@@ -74,14 +82,16 @@
     response.end(hasBody ? body : undefined);
   };
 
-  const refuse = (key: number, failure: Failure): void => {
+  const refuseWith = (key: number, failure: Failure, cause: ConnectionEndCause): void => {
     const answer = removeAnswer(key);
     if (answer === undefined) return;
     const { response, requestId } = answer;
     if (response.headersSent) {
+      connections.recordCause(key, cause);
       response.destroy();
       return;
     }
+    connections.recordWrite(key);
     const problem = toProblem(failure, requestId);
     const body = Buffer.from(JSON.stringify(problem));
     const retryAfter =
@@ -102,6 +112,13 @@
     response.end(body);
   };
 
+  const breakAnswer = (key: number, cause: ConnectionEndCause): void => {
+    const answer = removeAnswer(key);
+    if (answer === undefined) return;
+    connections.recordCause(key, cause);
+    answer.response.destroy();
+  };
+
   return {
     open: (key, requestId, response) => {
       open.set(key, { requestId, response });
@@ -113,6 +130,7 @@
     startAnswer: (key, head) => {
       const response = open.get(key)?.response;
       if (response === undefined) return;
+      connections.recordWrite(key);
       response.sendDate = false;
       if (head.framing === 'until-close') clearFraming(response);
       response.writeHead(head.status, buildHeaders(head.headers));
@@ -120,6 +138,7 @@
     writeAnswer: (key, bytes) => {
       const response = open.get(key)?.response;
       if (response === undefined) return 'written';
+      connections.recordWrite(key);
       response.write(bytes);
       return response.writableLength > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
     },
@@ -127,12 +146,12 @@
       removeAnswer(key)?.response.end();
     },
     sendWhole,
-    refuse,
-    breakAnswer: (key) => {
-      removeAnswer(key)?.response.destroy();
+    refuse: (key, failure) => {
+      refuseWith(key, failure, 'answer-broken');
     },
+    breakAnswer,
     refuseAll: (failure) => {
-      for (const key of [...open.keys()]) refuse(key, failure);
+      for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
     },
     startDrain: () => {
       phase = 'draining';
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -1,6 +1,7 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
 import type { CallerServer } from './frontend/callerServer.js';
+import type { ConnectionTracker } from './frontend/connections.js';
 import type { Responders } from './frontend/responders.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { STORE_RETRY_MS } from './quarantine/constants.js';
@@ -18,6 +19,7 @@
   readonly events: EventLog;
   readonly metrics: DeferredMetrics;
   readonly responders: Responders;
+  readonly connections: ConnectionTracker;
   readonly callers: CallerServer;
   readonly endpoints: EndpointClient;
   readonly peers: PeerSocket;
@@ -91,6 +93,7 @@
 export const performEffect = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
   const {
     callers,
+    connections,
     endpoints,
     engines,
     events,
@@ -131,6 +134,7 @@
       peers.send(effect.hosts, effect.message);
       return;
     case 'open-attempt':
+      connections.recordAttempt(effect.order.key);
       endpoints.open(effect.order);
       return;
     case 'read-report':
@@ -166,7 +170,7 @@
     case 'write-answer':
       if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
       // Closes the stream, so that a slow caller does not fill the daemon's memory.
-      responders.breakAnswer(effect.key);
+      responders.breakAnswer(effect.key, 'slow-caller');
       loop().post({ to: 'requests', kind: 'caller-disconnected', key: effect.key });
       return;
     case 'end-answer':
@@ -179,7 +183,7 @@
       responders.refuse(effect.key, effect.failure);
       return;
     case 'break-answer':
-      responders.breakAnswer(effect.key);
+      responders.breakAnswer(effect.key, 'answer-broken');
       return;
     case 'reset-requests':
       endpoints.close();
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -192,6 +192,7 @@
           backup: backup?.id ?? '',
           leftMs: Math.round(forwarding.deadlineAt - now),
           promptParts: request.promptParts,
+          version: forwarding.configurationVersion,
         },
       },
     },
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -21,6 +21,7 @@
       : formatMs(forwarding.firstEventAt - forwarding.request.receivedAt),
   longestGapMs: formatMs(forwarding.longestGapMs),
   lastEventId: forwarding.lastEventId ?? '',
+  version: forwarding.configurationVersion,
 });
 
 /** Removes a request from those in flight; its attempts must have ended. */
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -33,7 +33,11 @@
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent } from '../events.js';
 
-const refuseArrival = (request: ForwardRequest, failure: Failure): Effects => [
+const refuseArrival = (
+  request: ForwardRequest,
+  failure: Failure,
+  { getRoutingTable }: RequestsInputs,
+): Effects => [
   { kind: 'refuse', key: request.key, failure },
   { kind: 'count', name: 'gateway_requests_total', labels: { route: '', outcome: failure.code } },
   {
@@ -41,18 +45,28 @@
     name: 'request-failed',
     details: {
       requestId: request.id,
-      data: { code: failure.code, verdict: failure.verdict, reason: failure.message },
+      data: {
+        code: failure.code,
+        verdict: failure.verdict,
+        reason: failure.message,
+        version: getRoutingTable()?.version ?? 0,
+      },
     },
   },
 ];
 
 /** Refuses with a long retry-after: the cause lasts a while, and callers retry only a few times. */
-const refuseUnready = (request: ForwardRequest, message: string): Effects => {
+const refuseUnready = (
+  request: ForwardRequest,
+  message: string,
+  inputs: RequestsInputs,
+): Effects => {
   const retryAfterMs = Math.min(
     UNREADY_RETRY_AFTER_MAX_MS,
     (request.callerTimeoutMs ?? 0) * UNREADY_RETRY_AFTER_SHARE,
   );
-  return refuseArrival(request, createFailure('not-run', 'no-endpoint', message, retryAfterMs));
+  const failure = createFailure('not-run', 'no-endpoint', message, retryAfterMs);
+  return refuseArrival(request, failure, inputs);
 };
 
 const chooseTargetService = (route: Route, inputs: RequestsInputs): Service | null => {
@@ -84,12 +98,14 @@
   route: Route,
   service: Service,
   customer: Forwarding['customer'],
+  configurationVersion: number,
 ): Forwarding => ({
   request,
   route,
   service,
   customer,
   deadlineAt: request.receivedAt + Math.min(route.timeoutMs, request.callerTimeoutMs ?? Infinity),
+  configurationVersion,
   attempts: new Map(),
   tried: new Set(),
   attemptsMade: 0,
@@ -108,16 +124,21 @@
 const admitRequest = (request: ForwardRequest, context: RequestsContext): Effects => {
   const { inputs, state } = context;
   const table = inputs.getRoutingTable();
-  if (table === null) return refuseUnready(request, 'no configuration has been loaded yet');
+  if (table === null) return refuseUnready(request, 'no configuration has been loaded yet', inputs);
   const found = findRoute(table, request);
   switch (found.kind) {
     case 'no-route':
       return refuseArrival(
         request,
         createFailure('not-run', 'unknown-service', 'no route matches'),
+        inputs,
       );
     case 'unknown-key':
-      return refuseArrival(request, createFailure('not-run', 'unauthorized', 'the key is unknown'));
+      return refuseArrival(
+        request,
+        createFailure('not-run', 'unauthorized', 'the key is unknown'),
+        inputs,
+      );
     case 'routed':
       break;
     default:
@@ -127,17 +148,19 @@
   if (isTooLongForDrain(route, request, inputs)) {
     const retryAfterMs = DRAIN_RETRY_AFTER_MS;
     const message = 'the daemon is draining and would end before the answer is complete';
-    return refuseArrival(request, createFailure('not-run', 'draining', message, retryAfterMs));
+    const failure = createFailure('not-run', 'draining', message, retryAfterMs);
+    return refuseArrival(request, failure, inputs);
   }
   const service = chooseTargetService(route, inputs);
-  if (service === null) return refuseUnready(request, 'the route has no service');
-  if (state.inFlight.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
+  if (service === null) return refuseUnready(request, 'the route has no service', inputs);
+  if (state.inFlight.size >= MAX_REQUESTS)
+    return refuseUnready(request, 'too many requests', inputs);
   const now = inputs.clock.now();
   const content = checkRequestContent(request, inputs);
   if (content.kind === 'quarantined') {
-    return refuseArrival(request, createQuarantineFailure(content));
+    return refuseArrival(request, createQuarantineFailure(content), inputs);
   }
-  const forwarding = createForwarding(request, route, service, customer);
+  const forwarding = createForwarding(request, route, service, customer, table.version);
   state.inFlight.set(request.key, forwarding);
   countRequest(getBudget(forwarding, context), inputs.getLiveSettings().budget, now);
   return [
@@ -171,6 +194,7 @@
           afterMs: Math.round(clock.now() - request.receivedAt),
           attempts: forwarding.attemptsMade,
           lastEventId: forwarding.lastEventId ?? '',
+          version: forwarding.configurationVersion,
         },
       },
     },
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -89,6 +89,8 @@
   readonly service: Service;
   readonly customer: Customer | null;
   readonly deadlineAt: Millis;
+  /** Version of the configuration under which the request was accepted. */
+  readonly configurationVersion: number;
   readonly attempts: Map<number, Attempt>;
   readonly tried: Set<EndpointId>;
   attemptsMade: number;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -10,6 +10,8 @@
 import type { PacingInputs } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
+import { createConnectionTracker } from './frontend/connections.js';
+import type { ConnectionTracker } from './frontend/connections.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
@@ -79,6 +81,7 @@
   readonly states: GatewayStates;
   readonly events: EventLog;
   readonly metrics: DeferredMetrics;
+  readonly connections: ConnectionTracker;
   readonly responders: Responders;
   readonly callers: CallerServer;
   readonly endpoints: EndpointClient;
@@ -123,8 +126,17 @@
     write: createLineWriter(process.stdout, clock),
   });
 
-const buildResponders = ({ events }: GatewayCradle): Responders =>
-  createResponders((error) => {
+const buildConnections = ({ clock, events, metrics, states }: GatewayCradle): ConnectionTracker =>
+  createConnectionTracker({
+    clock,
+    getConfigurationVersion: () => states.configuration.table?.version ?? 0,
+    getGate: () => states.frontend,
+    record: events.record,
+    addCount: metrics.addCount,
+  });
+
+const buildResponders = ({ connections, events }: GatewayCradle): Responders =>
+  createResponders(connections, (error) => {
     events.record('caller-unreadable', { data: { error: error.message } });
   });
 
@@ -133,6 +145,7 @@
     codec: cradle.ports.codec,
     clock: cradle.clock,
     responders: cradle.responders,
+    connections: cradle.connections,
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
     postDisconnect: (key) => {
@@ -229,7 +242,7 @@
 };
 
 const buildDaemon = (cradle: GatewayCradle): Daemon<GatewayEvent> => {
-  const { clock, events, metrics, ports, responders, states } = cradle;
+  const { clock, connections, events, metrics, ports, responders, states } = cradle;
   const onFailure = ({ child, rebuildsFrom, error }: ChildFailure): void => {
     const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
     events.record('child-failed', { data: { child, rebuildsFrom, error: text } });
@@ -239,6 +252,7 @@
     events,
     metrics,
     responders,
+    connections,
     callers: cradle.callers,
     endpoints: cradle.endpoints,
     peers: cradle.peers,
@@ -293,6 +307,7 @@
     states: asValue({} as GatewayStates),
     events: asFunction(buildEvents).singleton(),
     metrics: asFunction(createDeferredMetrics).singleton(),
+    connections: asFunction(buildConnections).singleton(),
     responders: asFunction(buildResponders).singleton(),
     callers: asFunction(buildCallers).singleton(),
     endpoints: asFunction(buildEndpoints).singleton(),
