Do not take a continuation that closes before its first event for complete

Callers saw: a stream that ended as if it were complete before its last event (ORDER).

Cause: an answer without a length or chunks ends with its connection. A continuation with such an answer that closed before its first event counted as the end of the whole stream, since events of the first endpoint had been delivered.

Change: without a framing, an attempt that has sent no event is broken, not complete.

Evidence: "a continuation without a length that ends before its first event is not complete" failed before (the answer was ended).

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -252,7 +252,9 @@
   // The source of a transfer closes its stream, which for this framing looks like the end.
   if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt) === 'wait') return [];
   const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
-  if (isInsideEvent || forwarding.delivered === 'nothing') {
+  // Only with a framing does the end of a continuation without events mean that nothing was left.
+  const isUnproven = attempt.events === 0 && attempt.head?.framing === 'until-close';
+  if (isInsideEvent || isUnproven || forwarding.delivered === 'nothing') {
     const place = isInsideEvent ? 'inside an event' : 'without an event';
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -394,6 +394,19 @@
   }
 });
 
+// Guards against a stream that looks complete because the endpoint that continues it closes its
+// connection before the first event.
+test('a continuation without a length that ends before its first event is not complete', (t) => {
+  const harness = createRequestsHarness();
+  const first = getOrder(harness.sendRequest('/summary/1'));
+  startAnswer(harness, first);
+  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 2) });
+  const second = getOrder(failAttempt(harness, first));
+  startAnswer(harness, second, { ...SIGNED_HEAD, framing: 'until-close' });
+  const effects = harness.post({ ...toEvent(second), kind: 'answer-ended' });
+  t.is(findEffect(effects, 'end-answer'), undefined);
+});
+
 // Guards against a worker that sends a stream without end, or bytes that are no events, to the caller.
 test('a stream with wrong or too many events is cut and resumes elsewhere', (t) => {
   const limited = { ...DEMAND, maxOutputTokens: 5 };
