--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -8,6 +8,7 @@
   MAX_BUFFERED_BODY_BYTES,
 } from './constants.js';
 import type { Responders } from './responders.js';
+import type { ConnectionEndCause } from './types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
@@ -18,6 +19,8 @@
   readonly clock: Clock;
   readonly responders: Responders;
   readonly connections: ConnectionTracker;
+  /** Interval of checking the header timeout; that of the HTTP server by default. */
+  readonly headerCheckMs?: Millis;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
 }
@@ -90,11 +93,16 @@
 
 const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
+/** The caller closed its connection inside a request. */
+const INCOMPLETE_CODE = 'HPE_INVALID_EOF_STATE';
+
+const getCode = (error: Error): string => ('code' in error ? String(error.code) : '');
+
 /** Tells why the HTTP server reports an error; other codes are those of broken connections. */
-const classifyClientError = (error: Error): 'unreadable' | 'header-timeout' | 'caller' => {
-  const code = 'code' in error ? String(error.code) : '';
-  if (code.startsWith('HPE_')) return 'unreadable';
-  return code === HEADER_TIMEOUT_CODE ? 'header-timeout' : 'caller';
+const classifyClientError = (error: Error): ConnectionEndCause => {
+  const code = getCode(error);
+  if (code === HEADER_TIMEOUT_CODE) return 'header-timeout';
+  return code.startsWith('HPE_') && code !== INCOMPLETE_CODE ? 'unreadable' : 'caller';
 };
 
 /**
@@ -142,7 +150,12 @@
   };
 
   const server: Server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+      requestTimeout: 0,
+      connectionsCheckingInterval: options.headerCheckMs,
+    },
     (incoming, response) => {
       void accept(incoming, response);
     },
@@ -150,7 +163,7 @@
   server.on('connection', connections.trackConnection);
   server.on('clientError', (error, socket) => {
     // Reports only parse errors; a broken connection is handled by the `close` of its request.
-    const isUnreadable = classifyClientError(error) === 'unreadable';
+    const isUnreadable = getCode(error).startsWith('HPE_');
     connections.recordSocketCause(socket, classifyClientError(error));
     if (isUnreadable) responders.reportUnreadable(error);
     if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
--- a/packages/gateway/frontend/connections.ts
+++ b/packages/gateway/frontend/connections.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { MAX_LISTED_REQUESTS } from './constants.js';
+import { LATE_CLOSE_MS, MAX_LISTED_REQUESTS } from './constants.js';
 import type { GateState } from './gate.js';
-import type { ConnectionEndCause, RequestPhase } from './types.js';
+import type { ConnectionEndCause, IdlePhase, RequestPhase } from './types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EventName } from '../../core/events/catalogue.js';
 import type { EventDetails } from '../../core/events/types.js';
@@ -52,6 +52,9 @@
   bytesRead: number;
   /** Bytes of the connection when the newest answer had been sent completely. */
   bytesWritten: number;
+  /** Instant since which it waits for the next request, if it has no open ones. */
+  idleAt: Millis;
+  idlePhase: IdlePhase;
   cause: ConnectionEndCause | null;
   report: 'due' | 'done';
 }
@@ -102,6 +105,9 @@
   const computeAge = (at: Millis | null): Millis =>
     at === null ? NONE : Math.round(clock.now() - at);
 
+  const computeLateness = ({ idleAt, socket }: TrackedConnection): Millis =>
+    clock.now() - idleAt - (socket.timeout ?? 0);
+
   const describeDaemon = () => {
     const gate = getGate();
     return {
@@ -162,7 +168,8 @@
   ): readonly RequestPhase[] => {
     connection.report = 'done';
     if (hasPartialHead(connection)) return [reportPartialHead(connection, cause)];
-    if (connection.open.size === 0) options.addCount(COUNTER, { cause, phase: 'idle' });
+    if (connection.open.size === 0)
+      options.addCount(COUNTER, { cause, phase: connection.idlePhase });
     return [...connection.open].map((request) => reportRequest(request, cause));
   };
 
@@ -175,22 +182,28 @@
   const finishRequest = (request: TrackedRequest): void => {
     const { connection } = request;
     const { socket } = connection;
+    // Node.js emits `finish` also for the bytes that the destruction of a connection drops.
+    if (socket.destroyed) return;
     connection.open.delete(request);
     requests.delete(request.key);
     connection.bytesWritten = socket.bytesWritten;
+    connection.idleAt = clock.now();
     // The listener of the HTTP server runs first, and ends the connection after its last answer.
     if (socket.writableEnded) connection.cause ??= 'last-answer';
   };
 
   return {
     trackConnection: (socket) => {
+      const openedAt = clock.now();
       const connection: TrackedConnection = {
         socket,
-        openedAt: clock.now(),
+        openedAt,
         open: new Set(),
         requests: 0,
         bytesRead: 0,
         bytesWritten: 0,
+        idleAt: openedAt,
+        idlePhase: 'idle',
         cause: null,
         report: 'due',
       };
@@ -198,7 +211,9 @@
       // A listener on the socket leaves the handling of the HTTP server as it is. One on the server
       // would keep it from closing the connection.
       socket.on('timeout', () => {
-        if (socket.destroyed) connection.cause ??= 'idle-timeout';
+        if (!socket.destroyed) return;
+        connection.cause ??= 'idle-timeout';
+        if (computeLateness(connection) > LATE_CLOSE_MS) connection.idlePhase = 'idle-late';
       });
       socket.on('end', () => {
         connection.cause ??= 'caller';
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -30,3 +30,9 @@
 
 /** Limit of the request ids in the report on the requests that the end of the process cuts. */
 export const MAX_LISTED_REQUESTS = 20;
+
+/**
+ * Time past its idle timeout after which the close of a connection counts as late: the process was
+ * busy or paused, and the connection may have bytes of a request that have not been read.
+ */
+export const LATE_CLOSE_MS = 50;
--- a/packages/gateway/frontend/types.ts
+++ b/packages/gateway/frontend/types.ts
@@ -29,3 +29,6 @@
   | 'answering'
   /** The answer is complete, but part of it has not been passed to the operating system. */
   | 'flushing';
+
+/** `idle-late`: the idle timeout passed well before the process noticed it. */
+export type IdlePhase = 'idle' | 'idle-late';
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -51,6 +51,8 @@
   readonly wait: (duration: number) => readonly GatewayEffect[];
   readonly countOpen: () => number;
   readonly setConfigured: (state: 'yes' | 'no') => void;
+  /** Replaces the configuration by an equal one with another version. */
+  readonly setVersion: (version: number) => void;
   /** Sets the result of the probes that follow broken connections; `reachable` at first. */
   readonly setProbeResult: (result: ProbeResult) => void;
   readonly setDrain: (drain: DrainTimes | null) => void;
@@ -84,7 +86,7 @@
   const loads = new Map<string, EndpointLoad>();
   let probeResult: ProbeResult = 'reachable';
   const peerPrioritySources = new Set<string>();
-  const table = buildRoutingTable(CONFIGURATION);
+  let table = buildRoutingTable(CONFIGURATION);
   let configured: 'yes' | 'no' = 'yes';
   let drain: DrainTimes | null = null;
   let timers: Timer[] = [];
@@ -188,6 +190,9 @@
     setDrain: (next) => {
       drain = next;
     },
+    setVersion: (version) => {
+      table = { ...table, version };
+    },
     setConfigured: (next) => {
       configured = next;
     },
