Count idle closes that come before the time told to the caller

Cause: the `Keep-Alive` header of an answer states the idle timeout that was in force when its request arrived, and the connection is closed by the one in force when the answer ends. A configuration that shortens the idle timeout in between has connections closed that their callers still trust. The counter showed these closes as any other.

Change: such a close counts in the phase `idle-early`. No close changes.

--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -183,7 +183,7 @@
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
       buffers.maxBodyBytes = maxBodyBytes;
-      connections.recordConfiguration();
+      connections.recordConfiguration(idleTimeoutMs);
     },
     closeIdle: () => {
       server.close();
--- a/packages/gateway/frontend/connections.test.ts
+++ b/packages/gateway/frontend/connections.test.ts
@@ -58,6 +58,21 @@
   t.deepEqual(harness.events, []);
 });
 
+// Guards against closes that a caller cannot expect, since its last answer stated a longer time, and
+// that look like any other.
+test('an idle close before the time that the answer stated is counted apart', async (t) => {
+  const harness = await startCallerServer(t);
+  harness.perform(applyLimits(15_000));
+  const caller = harness.openCaller();
+  caller.send(formatRequest('r-1'));
+  await harness.waitForRequest('r-1');
+  harness.perform(applyLimits(50));
+  await sendAnswer(harness, 'r-1');
+  await caller.waitForText('Keep-Alive: timeout=15');
+  await harness.waitForCount('idle-timeout idle-early');
+  t.deepEqual(harness.events, []);
+});
+
 // Guards against a caller that gave up and is taken for a request that the daemon cut.
 test('a caller that closes before its answer is named as the cause', async (t) => {
   const harness = await startCallerServer(t);
--- a/packages/gateway/frontend/connections.ts
+++ b/packages/gateway/frontend/connections.ts
@@ -37,7 +37,8 @@
   readonly recordSocketCause: (socket: object, cause: ConnectionEndCause) => void;
   /** Records the cause of all connections that have just been closed without one. */
   readonly recordClosed: (cause: ConnectionEndCause) => void;
-  readonly recordConfiguration: () => void;
+  /** Records that a configuration came into force, with the idle timeout that it sets. */
+  readonly recordConfiguration: (idleTimeoutMs: Millis) => void;
   /** Reports the requests that the end of the process leaves unanswered. */
   readonly reportLeft: () => void;
 }
@@ -54,6 +55,8 @@
   bytesWritten: number;
   /** Instant since which it waits for the next request, if it has no open ones. */
   idleAt: Millis;
+  /** Time that the `Keep-Alive` header of the newest answer states; the server sets it at the head. */
+  keepAliveMs: Millis;
   idlePhase: IdlePhase;
   cause: ConnectionEndCause | null;
   report: 'due' | 'done';
@@ -77,6 +80,8 @@
 
 const NONE = -1;
 
+const MILLIS_PER_SECOND = 1_000;
+
 const findPhase = ({ body, response }: TrackedRequest): RequestPhase => {
   if (response.writableEnded) return 'flushing';
   if (response.headersSent) return 'answering';
@@ -101,12 +106,16 @@
   const connections = new Map<object, TrackedConnection>();
   const requests = new Map<number, TrackedRequest>();
   let configuredAt: Millis | null = null;
+  let idleMs: Millis = 0;
 
   const computeAge = (at: Millis | null): Millis =>
     at === null ? NONE : Math.round(clock.now() - at);
 
-  const computeLateness = ({ idleAt, socket }: TrackedConnection): Millis =>
-    clock.now() - idleAt - (socket.timeout ?? 0);
+  const classifyIdle = ({ idleAt, keepAliveMs, socket }: TrackedConnection): IdlePhase => {
+    const idledMs = clock.now() - idleAt;
+    if (idledMs < keepAliveMs) return 'idle-early';
+    return idledMs - (socket.timeout ?? 0) > LATE_CLOSE_MS ? 'idle-late' : 'idle';
+  };
 
   const describeDaemon = () => {
     const gate = getGate();
@@ -203,6 +212,7 @@
         bytesRead: 0,
         bytesWritten: 0,
         idleAt: openedAt,
+        keepAliveMs: 0,
         idlePhase: 'idle',
         cause: null,
         report: 'due',
@@ -213,7 +223,7 @@
       socket.on('timeout', () => {
         if (!socket.destroyed) return;
         connection.cause ??= 'idle-timeout';
-        if (computeLateness(connection) > LATE_CLOSE_MS) connection.idlePhase = 'idle-late';
+        connection.idlePhase = classifyIdle(connection);
       });
       socket.on('end', () => {
         connection.cause ??= 'caller';
@@ -240,6 +250,7 @@
         attempts: 0,
       };
       connection.requests += 1;
+      connection.keepAliveMs = Math.floor(idleMs / MILLIS_PER_SECOND) * MILLIS_PER_SECOND;
       connection.open.add(request);
       requests.set(key, request);
       incoming.on('data', () => {
@@ -274,7 +285,8 @@
         if (connection.socket.destroyed) connection.cause ??= cause;
       }
     },
-    recordConfiguration: () => {
+    recordConfiguration: (idleTimeoutMs) => {
+      idleMs = idleTimeoutMs;
       configuredAt = clock.now();
     },
     reportLeft: () => {
--- a/packages/gateway/frontend/types.ts
+++ b/packages/gateway/frontend/types.ts
@@ -30,5 +30,10 @@
   /** The answer is complete, but part of it has not been passed to the operating system. */
   | 'flushing';
 
-/** `idle-late`: the idle timeout passed well before the process noticed it. */
-export type IdlePhase = 'idle' | 'idle-late';
+/** When an idle connection was closed, compared to its idle timeout. */
+export type IdlePhase =
+  | 'idle'
+  /** Before the time that the `Keep-Alive` header of its last answer stated. */
+  | 'idle-early'
+  /** Well after the timeout, since the process was busy or paused. */
+  | 'idle-late';
