--- a/packages/gateway/frontend/connections.ts
+++ b/packages/gateway/frontend/connections.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { MAX_LISTED_REQUESTS } from './constants.js';
+import { LATE_CLOSE_MS, MAX_LISTED_REQUESTS } from './constants.js';
 import type { GateState } from './gate.js';
-import type { ConnectionEndCause, RequestPhase } from './types.js';
+import type { ConnectionEndCause, IdlePhase, RequestPhase } from './types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EventName } from '../../core/events/catalogue.js';
 import type { EventDetails } from '../../core/events/types.js';
@@ -37,7 +37,8 @@
   readonly recordSocketCause: (socket: object, cause: ConnectionEndCause) => void;
   /** Records the cause of all connections that have just been closed without one. */
   readonly recordClosed: (cause: ConnectionEndCause) => void;
-  readonly recordConfiguration: () => void;
+  /** Records that a configuration came into force, with the idle timeout that it sets. */
+  readonly recordConfiguration: (idleTimeoutMs: Millis) => void;
   /** Counts the connections with bytes that the operating system has not accepted yet. */
   readonly countUnsent: () => number;
   /** Reports the requests that the end of the process leaves unanswered. */
@@ -54,6 +55,11 @@
   bytesRead: number;
   /** Bytes of the connection when the newest answer had been sent completely. */
   bytesWritten: number;
+  /** Instant since which it waits for the next request, if it has no open ones. */
+  idleAt: Millis;
+  /** Time that the `Keep-Alive` header of the newest answer states; the server sets it at the head. */
+  keepAliveMs: Millis;
+  idlePhase: IdlePhase;
   cause: ConnectionEndCause | null;
   report: 'due' | 'done';
 }
@@ -76,6 +82,8 @@
 
 const NONE = -1;
 
+const MILLIS_PER_SECOND = 1_000;
+
 const findPhase = ({ body, response }: TrackedRequest): RequestPhase => {
   if (response.writableEnded) return 'flushing';
   if (response.headersSent) return 'answering';
@@ -100,10 +108,17 @@
   const connections = new Map<object, TrackedConnection>();
   const requests = new Map<number, TrackedRequest>();
   let configuredAt: Millis | null = null;
+  let idleMs: Millis = 0;
 
   const computeAge = (at: Millis | null): Millis =>
     at === null ? NONE : Math.round(clock.now() - at);
 
+  const classifyIdle = ({ idleAt, keepAliveMs, socket }: TrackedConnection): IdlePhase => {
+    const idledMs = clock.now() - idleAt;
+    if (idledMs < keepAliveMs) return 'idle-early';
+    return idledMs - (socket.timeout ?? 0) > LATE_CLOSE_MS ? 'idle-late' : 'idle';
+  };
+
   const describeDaemon = () => {
     const gate = getGate();
     return {
@@ -164,7 +179,8 @@
   ): readonly RequestPhase[] => {
     connection.report = 'done';
     if (hasPartialHead(connection)) return [reportPartialHead(connection, cause)];
-    if (connection.open.size === 0) options.addCount(COUNTER, { cause, phase: 'idle' });
+    if (connection.open.size === 0)
+      options.addCount(COUNTER, { cause, phase: connection.idlePhase });
     return [...connection.open].map((request) => reportRequest(request, cause));
   };
 
@@ -177,22 +193,29 @@
   const finishRequest = (request: TrackedRequest): void => {
     const { connection } = request;
     const { socket } = connection;
+    // Node.js emits `finish` also for the bytes that the destruction of a connection drops.
+    if (socket.destroyed) return;
     connection.open.delete(request);
     requests.delete(request.key);
     connection.bytesWritten = socket.bytesWritten;
+    connection.idleAt = clock.now();
     // The listener of the HTTP server runs first, and ends the connection after its last answer.
     if (socket.writableEnded) connection.cause ??= 'last-answer';
   };
 
   return {
     trackConnection: (socket) => {
+      const openedAt = clock.now();
       const connection: TrackedConnection = {
         socket,
-        openedAt: clock.now(),
+        openedAt,
         open: new Set(),
         requests: 0,
         bytesRead: 0,
         bytesWritten: 0,
+        idleAt: openedAt,
+        keepAliveMs: 0,
+        idlePhase: 'idle',
         cause: null,
         report: 'due',
       };
@@ -200,7 +223,9 @@
       // A listener on the socket leaves the handling of the HTTP server as it is. One on the server
       // would keep it from closing the connection.
       socket.on('timeout', () => {
-        if (socket.destroyed) connection.cause ??= 'idle-timeout';
+        if (!socket.destroyed) return;
+        connection.cause ??= 'idle-timeout';
+        connection.idlePhase = classifyIdle(connection);
       });
       socket.on('end', () => {
         connection.cause ??= 'caller';
@@ -227,6 +252,7 @@
         attempts: 0,
       };
       connection.requests += 1;
+      connection.keepAliveMs = Math.floor(idleMs / MILLIS_PER_SECOND) * MILLIS_PER_SECOND;
       connection.open.add(request);
       requests.set(key, request);
       incoming.on('data', () => {
@@ -261,7 +287,8 @@
         if (connection.socket.destroyed) connection.cause ??= cause;
       }
     },
-    recordConfiguration: () => {
+    recordConfiguration: (idleTimeoutMs) => {
+      idleMs = idleTimeoutMs;
       configuredAt = clock.now();
     },
     countUnsent: () =>
--- a/packages/gateway/frontend/types.ts
+++ b/packages/gateway/frontend/types.ts
@@ -29,3 +29,11 @@
   | 'answering'
   /** The answer is complete, but part of it has not been passed to the operating system. */
   | 'flushing';
+
+/** When an idle connection was closed, compared to its idle timeout. */
+export type IdlePhase =
+  | 'idle'
+  /** Before the time that the `Keep-Alive` header of its last answer stated. */
+  | 'idle-early'
+  /** Well after the timeout, since the process was busy or paused. */
+  | 'idle-late';
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -51,6 +51,8 @@
   readonly wait: (duration: number) => readonly GatewayEffect[];
   readonly countOpen: () => number;
   readonly setConfigured: (state: 'yes' | 'no') => void;
+  /** Replaces the configuration by an equal one with another version. */
+  readonly setVersion: (version: number) => void;
   /** Sets the result of the probes that follow broken connections; `reachable` at first. */
   readonly setProbeResult: (result: ProbeResult) => void;
   readonly setDrain: (drain: DrainTimes | null) => void;
@@ -86,7 +88,7 @@
   const loads = new Map<string, EndpointLoad>();
   let probeResult: ProbeResult = 'reachable';
   const peerPrioritySources = new Set<string>();
-  const table = buildRoutingTable(CONFIGURATION);
+  let table = buildRoutingTable(CONFIGURATION);
   let configured: 'yes' | 'no' = 'yes';
   let drain: DrainTimes | null = null;
   let retries: 'available' | 'spent' = 'available';
@@ -198,6 +200,9 @@
     setRetries: (next) => {
       retries = next;
     },
+    setVersion: (version) => {
+      table = { ...table, version };
+    },
     setConfigured: (next) => {
       configured = next;
     },
