Start the next transfer when a generation ends during its own

Callers saw: several memos that were cut together when an engine left as planned, although it gave notice.

Cause: only one generation at a time is transferred from an engine. When one ended (or its caller left) while it was copied, the result of the copy found no request and was dropped, and nothing started the next transfer. The waiting generation kept reporting its priority, so all other gateways waited for it, too. The copy at the target kept its memory. Class: a turn that only its holder can pass on, and that ends with its holder.

Change: the result of a transfer names its source, and a result whose generation has ended releases the copy and starts the next transfer.

--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -21,8 +21,9 @@
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type {
   EndpointAddress,
-  ForwardingConfiguration,
+  EndpointRecord,
   ForwardRequest,
+  ForwardingConfiguration,
 } from '../decisions/forwarding/types.js';
 import type { CrashProgress } from '../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints, Fingerprint } from '../decisions/quarantine/types.js';
@@ -36,6 +37,9 @@
   /** The received answer is invalid: malformed, too large, unsigned or of another request. */
   | { readonly kind: 'garbled'; readonly message: string };
 
+/** Endpoint that a generation leaves. */
+export type TransferSource = Pick<EndpointRecord, 'id' | 'address'>;
+
 /**
  * Whether an endpoint accepts connections: `refused` when nothing listens at its address, `silent`
  * when there is no reply.
@@ -155,6 +159,8 @@
       readonly kind: 'transfer-ended';
       readonly key: number;
       readonly attempt: number;
+      /** Endpoint from which the generation was to be transferred. */
+      readonly source: TransferSource;
       readonly result: TransferResult;
     }
   | {
@@ -228,6 +234,7 @@
       readonly kind: 'start-transfer';
       readonly key: number;
       readonly attempt: number;
+      readonly source: TransferSource;
       readonly order: TransferOrder;
     }
   | {
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -56,11 +56,11 @@
 };
 
 const startTransfer = (
-  { attempt, key, order }: Extract<GatewayEffect, { kind: 'start-transfer' }>,
+  { attempt, key, order, source }: Extract<GatewayEffect, { kind: 'start-transfer' }>,
   { engines, loop }: GatewayAdapters,
 ): void => {
   void engines.transfer(order).then((result) => {
-    loop().post({ to: 'requests', kind: 'transfer-ended', key, attempt, result });
+    loop().post({ to: 'requests', kind: 'transfer-ended', key, attempt, source, result });
   });
 };
 
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -8,7 +8,12 @@
   UNREADY_RETRY_AFTER_SHARE,
 } from './constants.js';
 import { checkRequestContent, createQuarantineFailure } from './content.js';
-import { checkStreamEnd, endTransferStep, drainEndpoint, startNextTransfer } from './transfers.js';
+import {
+  checkStreamEnd,
+  handleTransferResult,
+  drainEndpoint,
+  startNextTransfer,
+} from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
 import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
 import { checkStall, endSilentAttempt } from './silence.js';
@@ -196,7 +201,7 @@
 };
 
 const handleAttemptEvent = (
-  event: Extract<RequestsEvent, { attempt: number }>,
+  event: Exclude<Extract<RequestsEvent, { attempt: number }>, { kind: 'transfer-ended' }>,
   forwarding: Forwarding,
   attempt: Attempt,
   context: RequestsContext,
@@ -217,8 +222,6 @@
         : failAttempt(forwarding, attempt, event.failure, context);
     case 'endpoint-probed':
       return endProbedAttempt(forwarding, attempt, event.result, context);
-    case 'transfer-ended':
-      return endTransferStep({ forwarding, attempt }, event.result, context);
     case 'hedge-due':
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'stall-check-due':
@@ -236,6 +239,7 @@
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   if (event.kind === 'content-quarantined') return cancelQuarantined(context);
   if (event.kind === 'drain-ended') return endForDrain(context);
+  if (event.kind === 'transfer-ended') return handleTransferResult(event, context);
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
@@ -250,7 +254,6 @@
     case 'answer-continued':
     case 'answer-ended':
     case 'attempt-failed':
-    case 'transfer-ended':
     case 'endpoint-probed':
     case 'hedge-due':
     case 'stall-check-due':
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -50,7 +50,12 @@
 };
 
 const endStep = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
-  harness.post({ ...toEvent(order), kind: 'transfer-ended', result });
+  harness.post({
+    ...toEvent(order),
+    kind: 'transfer-ended',
+    source: { id: order.head.endpointId, address: order.address },
+    result,
+  });
 
 const COPIED: TransferResult = { kind: 'copied', handle: 'h-1', events: 9 };
 
@@ -205,6 +210,32 @@
   t.truthy(findEffect(effects, 'break-answer'));
 });
 
+// Guards against generations that are lost with their engine because another one ended during its own
+// transfer: the next transfer was never started, and the peers waited for it. The copy of the ended
+// generation would keep its memory.
+test('the next transfer starts when a generation ends during its own', (t) => {
+  const ways: readonly ((harness: RequestsHarness, order: AttemptOrder) => void)[] = [
+    (harness, order) => {
+      harness.post({ ...toEvent(order), kind: 'answer-ended' });
+    },
+    (harness, { key }) => {
+      harness.post({ to: 'requests', kind: 'caller-disconnected', key });
+    },
+  ];
+  for (const end of ways) {
+    const harness = createRequestsHarness();
+    const orders = startMemos(harness, 2);
+    const [first] = findTransfers(postLeaving(harness));
+    const order = orders.find(({ key }) => key === first?.key) as AttemptOrder;
+    end(harness, order);
+    t.deepEqual(findTransfers(harness.wait(50)), []);
+    const effects = endStep(harness, order, COPIED);
+    t.like(findEffect(effects, 'release-copy'), { address: order.address, handle: 'h-1' });
+    const [second] = findTransfers(harness.wait(50));
+    t.is(second?.key, orders.find(({ key }) => key !== order.key)?.key);
+  }
+});
+
 // Guards against memory that the copy of an ended generation keeps in use.
 test('a copy is released when its generation ends first', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -14,7 +14,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
 
 /** A running generation: its request, and the attempt at the endpoint that runs it. */
@@ -29,12 +29,13 @@
   mode: TransferOrder['mode'],
 ): GatewayEffect => {
   const { request } = forwarding;
-  const source = attempt.endpoint.address;
+  const { address, id } = attempt.endpoint;
   return {
     kind: 'start-transfer',
     key: request.key,
     attempt: attempt.number,
-    order: { requestId: request.id, source, target: target.address, mode },
+    source: { id, address },
+    order: { requestId: request.id, source: address, target: target.address, mode },
   };
 };
 
@@ -262,15 +263,7 @@
   return [...released, ...endAttempt(run.forwarding, run.attempt, end, context)];
 };
 
-/**
- * Handles the result of one step of a transfer.
- *
- * @param run - generation at the source
- * @param result - how the step ended
- * @param context - state and inputs
- * @returns effects
- */
-export const endTransferStep = (
+const endTransferStep = (
   run: RunningGeneration,
   result: TransferResult,
   context: RequestsContext,
@@ -309,6 +302,34 @@
   }
 };
 
+/**
+ * Handles the result of a step of a transfer whose generation ended meanwhile: the copy is not used,
+ * and the next generation has its turn.
+ */
+const endUnusedStep = ({ address, id }: TransferSource, result: TransferResult): Effects => {
+  const released: Effects =
+    result.kind === 'copied' ? [{ kind: 'release-copy', address, handle: result.handle }] : [];
+  return [...released, REPORT_TO_PEERS, scheduleNextTransfer(id, 0)];
+};
+
+/**
+ * Handles the result of one step of a transfer.
+ *
+ * @param event - generation, source and how the step ended
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const handleTransferResult = (
+  { attempt: number, key, result, source }: Extract<RequestsEvent, { kind: 'transfer-ended' }>,
+  context: RequestsContext,
+): Effects => {
+  const forwarding = context.state.inFlight.get(key);
+  const attempt = forwarding?.attempts.get(number);
+  return forwarding === undefined || attempt === undefined
+    ? endUnusedStep(source, result)
+    : endTransferStep({ forwarding, attempt }, result, context);
+};
+
 /**
  * Checks whether a stream ended early because a transfer stopped its generation, and records it.
  *
