--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -49,10 +49,12 @@
     case 'placement-due':
     case 'hedge-due':
     case 'stall-check-due':
+    case 'overlap-ended':
     case 'endpoint-leaving':
     case 'transfer-due':
     case 'report-changed':
     case 'drain-started':
+    case 'drain-ended':
     case 'drain-checked':
       return 'control';
     default:
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,12 +1,16 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { ConnectionTracker } from './connections.js';
 import {
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
   MAX_HEADER_BYTES,
   MAX_BUFFERED_BODY_BYTES,
 } from './constants.js';
+import { createIdleConnections } from './idleConnections.js';
 import type { Responders } from './responders.js';
+import type { ConnectionEndCause } from './types.js';
+import { runAfterReads } from './runAfterReads.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
@@ -16,6 +20,9 @@
   readonly codec: HeadCodec;
   readonly clock: Clock;
   readonly responders: Responders;
+  readonly connections: ConnectionTracker;
+  /** Interval of checking the header timeout; that of the HTTP server by default. */
+  readonly headerCheckMs?: Millis;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
 }
@@ -86,6 +93,20 @@
 );
 const QUEUE_FULL = createFailure('not-run', 'overloaded', 'the event queue is full', 200);
 
+const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** The caller closed its connection inside a request. */
+const INCOMPLETE_CODE = 'HPE_INVALID_EOF_STATE';
+
+const getCode = (error: Error): string => ('code' in error ? String(error.code) : '');
+
+/** Tells why the HTTP server reports an error; other codes are those of broken connections. */
+const classifyClientError = (error: Error): ConnectionEndCause => {
+  const code = getCode(error);
+  if (code === HEADER_TIMEOUT_CODE) return 'header-timeout';
+  return code.startsWith('HPE_') && code !== INCOMPLETE_CODE ? 'unreadable' : 'caller';
+};
+
 /**
  * Creates the server for callers. It reads the whole body before it posts a request, since a retry
  * sends the body again.
@@ -94,8 +115,9 @@
  * @returns the server, not yet listening
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-  const { codec, clock, responders } = options;
+  const { codec, clock, connections, responders } = options;
   const buffers: BodyBuffers = { bufferedBytes: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
+  const idleConnections = createIdleConnections(connections.recordIdleClose);
   let nextKey = 1;
 
   const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -108,6 +130,8 @@
     const key = nextKey;
     nextKey += 1;
     responders.open(key, head.id, response);
+    connections.trackRequest(key, head.id, incoming, response);
+    idleConnections.recordStatedTimeout(incoming.socket, server.keepAliveTimeout);
     const result = await readBody(incoming, buffers);
     switch (result.kind) {
       case 'broken':
@@ -130,14 +154,23 @@
   };
 
   const server: Server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+      requestTimeout: 0,
+      connectionsCheckingInterval: options.headerCheckMs,
+    },
     (incoming, response) => {
       void accept(incoming, response);
     },
   );
+  server.on('connection', connections.trackConnection);
+  // With this listener, the HTTP server does not close the connection by itself.
+  server.on('timeout', idleConnections.handleTimeout);
   server.on('clientError', (error, socket) => {
     // Reports only parse errors; a broken connection is handled by the `close` of its request.
-    const isUnreadable = 'code' in error && String(error.code).startsWith('HPE_');
+    const isUnreadable = getCode(error).startsWith('HPE_');
+    connections.recordSocketCause(socket, classifyClientError(error));
     if (isUnreadable) responders.reportUnreadable(error);
     if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
     else socket.destroy();
@@ -156,12 +189,18 @@
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
       buffers.maxBodyBytes = maxBodyBytes;
+      connections.recordConfiguration(idleTimeoutMs);
     },
     closeIdle: () => {
-      server.close();
-      server.closeIdleConnections();
+      // Requests that have already arrived are read first, and refused.
+      runAfterReads(() => {
+        server.close();
+        server.closeIdleConnections();
+        connections.recordClosed('drain-ended');
+      });
     },
     close: () => {
+      connections.reportLeft();
       server.closeAllConnections();
     },
   };
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -10,6 +10,9 @@
 /** Time before the end of the grace period at which a draining daemon stops in any case. */
 export const GRACE_MARGIN_MS = 500;
 
+/** Time for sending the last answers before the idle connections are closed. */
+export const FINAL_ANSWER_GRACE_MS = 100;
+
 /** Time for sending the last written bytes after the idle connections are closed. */
 export const CLOSE_IDLE_GRACE_MS = 150;
 
@@ -27,3 +30,15 @@
 
 /** Limit of the connections that wait to be accepted. */
 export const LISTEN_BACKLOG = 1_024;
+
+/** Limit of the request ids in the report on the requests that the end of the process cuts. */
+export const MAX_LISTED_REQUESTS = 20;
+
+/**
+ * Time past its idle timeout after which the close of a connection counts as late: the process was
+ * busy or paused, and the connection may have bytes of a request that have not been read.
+ */
+export const LATE_CLOSE_MS = 50;
+
+/** Time beyond the stated idle timeout for which a connection stays open for a request on its way. */
+export const IDLE_MARGIN_MS = 1_000;
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -1,4 +1,4 @@
-import { cancelAttempts } from './attempts.js';
+import { cancelAttempts, cancelOtherAttempts } from './attempts.js';
 import { releaseCopy } from './generationCopy.js';
 import {
   END_EVENTS,
@@ -224,7 +224,14 @@
   const split = splitEvents(attempt.splitter, bytes);
   attempt.splitter = split.state;
   const { events, fault } = checkEventOrder(split.events, getProgress(forwarding));
-  const written = events.length === 0 ? [] : writeEvents(forwarding, attempt, events, context);
+  // The endpoint whose event comes first keeps a stream that another one continues.
+  const written =
+    events.length === 0
+      ? []
+      : [
+          ...cancelOtherAttempts(forwarding, attempt),
+          ...writeEvents(forwarding, attempt, events, context),
+        ];
   const message = split.outcome === 'too-large' ? 'an event is too large' : fault;
   if (message === null) return written;
   const end = { kind: 'garbled', message } as const;
@@ -245,7 +252,9 @@
   // The source of a transfer closes its stream, which for this framing looks like the end.
   if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt) === 'wait') return [];
   const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
-  if (isInsideEvent || forwarding.delivered === 'nothing') {
+  // Only with a framing does the end of a continuation without events mean that nothing was left.
+  const isUnproven = attempt.events === 0 && attempt.head?.framing === 'until-close';
+  if (isInsideEvent || isUnproven || forwarding.delivered === 'nothing') {
     const place = isInsideEvent ? 'inside an event' : 'without an event';
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,20 +1,22 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
-import { cancelAttempts, computeStallTimeout, placeRequest } from './attempts.js';
+import { cancelAttempts, placeRequest } from './attempts.js';
 import {
   DRAIN_ACCEPT_MS,
   DRAIN_RETRY_AFTER_MS,
-  DRAIN_MARGIN_MS,
-  DRAIN_TARGET_FACTOR,
-  DRAIN_TOKEN_MS,
   MAX_REQUESTS,
   UNREADY_RETRY_AFTER_MAX_MS,
   UNREADY_RETRY_AFTER_SHARE,
 } from './constants.js';
 import { checkRequestContent, createQuarantineFailure } from './content.js';
-import { findCopy } from './generationCopy.js';
-import { checkStreamEnd, endTransferStep, drainEndpoint, startNextTransfer } from './transfers.js';
+import {
+  checkStreamEnd,
+  handleTransferResult,
+  drainEndpoint,
+  startNextTransfer,
+} from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
-import { endAttempt, expireRequest, getBudget, sendHedge } from './retrying.js';
+import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
+import { checkStall, endSilentAttempt } from './silence.js';
 import type {
   Attempt,
   Effects,
@@ -27,13 +29,16 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
-import { estimateOutput } from '../../decisions/forwarding/placeAttempt.js';
 import { countRequest } from '../../decisions/forwarding/retryBudget.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent } from '../events.js';
 
-const refuseArrival = (request: ForwardRequest, failure: Failure): Effects => [
+const refuseArrival = (
+  request: ForwardRequest,
+  failure: Failure,
+  { getRoutingTable }: RequestsInputs,
+): Effects => [
   { kind: 'refuse', key: request.key, failure },
   { kind: 'count', name: 'gateway_requests_total', labels: { route: '', outcome: failure.code } },
   {
@@ -41,18 +46,28 @@
     name: 'request-failed',
     details: {
       requestId: request.id,
-      data: { code: failure.code, verdict: failure.verdict, reason: failure.message },
+      data: {
+        code: failure.code,
+        verdict: failure.verdict,
+        reason: failure.message,
+        version: getRoutingTable()?.version ?? 0,
+      },
     },
   },
 ];
 
 /** Refuses with a long retry-after: the cause lasts a while, and callers retry only a few times. */
-const refuseUnready = (request: ForwardRequest, message: string): Effects => {
+const refuseUnready = (
+  request: ForwardRequest,
+  message: string,
+  inputs: RequestsInputs,
+): Effects => {
   const retryAfterMs = Math.min(
     UNREADY_RETRY_AFTER_MAX_MS,
     (request.callerTimeoutMs ?? 0) * UNREADY_RETRY_AFTER_SHARE,
   );
-  return refuseArrival(request, createFailure('not-run', 'no-endpoint', message, retryAfterMs));
+  const failure = createFailure('not-run', 'no-endpoint', message, retryAfterMs);
+  return refuseArrival(request, failure, inputs);
 };
 
 const chooseTargetService = (route: Route, inputs: RequestsInputs): Service | null => {
@@ -61,22 +76,20 @@
 };
 
 /**
- * Reports whether a draining daemon would end before it finishes a request. Once the balancer sends
- * no more connections, no long generation is admitted, as the end of the process would interrupt
- * it.
+ * Reports whether a draining daemon may end before it finishes a request. Once the balancer sends no
+ * more connections, only requests are admitted whose time ends before: an endpoint may fall silent,
+ * and a stream that has begun cannot be answered in any other way. The caller's retry reaches another
+ * daemon.
  */
 const isTooLongForDrain = (
   route: Route,
-  { demand }: ForwardRequest,
+  { callerTimeoutMs }: ForwardRequest,
   { getDrain }: RequestsInputs,
 ): boolean => {
   const drain = getDrain();
-  if (drain === null || drain.drainedMs < DRAIN_ACCEPT_MS) return false;
-  const isLong = route.answer === 'stream' && route.resume === 'single-run';
-  const outputMs = demand === null ? 0 : estimateOutput(demand) * DRAIN_TOKEN_MS;
-  const firstEventMs = route.targetMs * DRAIN_TARGET_FACTOR + DRAIN_MARGIN_MS;
-  const neededMs = Math.min(route.timeoutMs, firstEventMs + outputMs);
-  return isLong || neededMs > drain.leftMs;
+  if (drain === null) return false;
+  if (drain.drainedMs < DRAIN_ACCEPT_MS && drain.leftMs > 0) return false;
+  return Math.min(route.timeoutMs, callerTimeoutMs ?? Infinity) > drain.leftMs;
 };
 
 const createForwarding = (
@@ -84,12 +97,14 @@
   route: Route,
   service: Service,
   customer: Forwarding['customer'],
+  configurationVersion: number,
 ): Forwarding => ({
   request,
   route,
   service,
   customer,
   deadlineAt: request.receivedAt + Math.min(route.timeoutMs, request.callerTimeoutMs ?? Infinity),
+  configurationVersion,
   attempts: new Map(),
   tried: new Set(),
   attemptsMade: 0,
@@ -108,16 +123,21 @@
 const admitRequest = (request: ForwardRequest, context: RequestsContext): Effects => {
   const { inputs, state } = context;
   const table = inputs.getRoutingTable();
-  if (table === null) return refuseUnready(request, 'no configuration has been loaded yet');
+  if (table === null) return refuseUnready(request, 'no configuration has been loaded yet', inputs);
   const found = findRoute(table, request);
   switch (found.kind) {
     case 'no-route':
       return refuseArrival(
         request,
         createFailure('not-run', 'unknown-service', 'no route matches'),
+        inputs,
       );
     case 'unknown-key':
-      return refuseArrival(request, createFailure('not-run', 'unauthorized', 'the key is unknown'));
+      return refuseArrival(
+        request,
+        createFailure('not-run', 'unauthorized', 'the key is unknown'),
+        inputs,
+      );
     case 'routed':
       break;
     default:
@@ -127,17 +147,19 @@
   if (isTooLongForDrain(route, request, inputs)) {
     const retryAfterMs = DRAIN_RETRY_AFTER_MS;
     const message = 'the daemon is draining and would end before the answer is complete';
-    return refuseArrival(request, createFailure('not-run', 'draining', message, retryAfterMs));
+    const failure = createFailure('not-run', 'draining', message, retryAfterMs);
+    return refuseArrival(request, failure, inputs);
   }
   const service = chooseTargetService(route, inputs);
-  if (service === null) return refuseUnready(request, 'the route has no service');
-  if (state.inFlight.size >= MAX_REQUESTS) return refuseUnready(request, 'too many requests');
+  if (service === null) return refuseUnready(request, 'the route has no service', inputs);
+  if (state.inFlight.size >= MAX_REQUESTS)
+    return refuseUnready(request, 'too many requests', inputs);
   const now = inputs.clock.now();
   const content = checkRequestContent(request, inputs);
   if (content.kind === 'quarantined') {
-    return refuseArrival(request, createQuarantineFailure(content));
+    return refuseArrival(request, createQuarantineFailure(content), inputs);
   }
-  const forwarding = createForwarding(request, route, service, customer);
+  const forwarding = createForwarding(request, route, service, customer, table.version);
   state.inFlight.set(request.key, forwarding);
   countRequest(getBudget(forwarding, context), inputs.getLiveSettings().budget, now);
   return [
@@ -171,43 +193,15 @@
           afterMs: Math.round(clock.now() - request.receivedAt),
           attempts: forwarding.attemptsMade,
           lastEventId: forwarding.lastEventId ?? '',
+          version: forwarding.configurationVersion,
         },
       },
     },
   ];
 };
 
-const checkStall = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  context: RequestsContext,
-): Effects => {
-  const { key } = forwarding.request;
-  const stallTimeoutMs = computeStallTimeout(forwarding);
-  const stalledMs = context.inputs.clock.now() - attempt.lastEventAt;
-  const canResume =
-    attempt.transfer === null &&
-    (findCopy(attempt) !== null || forwarding.route.resume === 'resumable');
-  // Before its first event, a request may be queued at the endpoint.
-  if (stalledMs < stallTimeoutMs || !canResume || forwarding.delivered === 'nothing') {
-    const delayMs = stalledMs < stallTimeoutMs ? stallTimeoutMs - stalledMs : stallTimeoutMs;
-    const event = {
-      to: 'requests',
-      kind: 'stall-check-due',
-      key,
-      attempt: attempt.number,
-    } as const;
-    return [{ kind: 'schedule', delayMs, event }];
-  }
-  const message = `no event for ${Math.round(stalledMs).toString()} ms`;
-  return [
-    { kind: 'cancel-attempt', key, attempt: attempt.number },
-    ...endAttempt(forwarding, attempt, { kind: 'silent', message }, context),
-  ];
-};
-
 const handleAttemptEvent = (
-  event: Extract<RequestsEvent, { attempt: number }>,
+  event: Exclude<Extract<RequestsEvent, { attempt: number }>, { kind: 'transfer-ended' }>,
   forwarding: Forwarding,
   attempt: Attempt,
   context: RequestsContext,
@@ -228,12 +222,12 @@
         : failAttempt(forwarding, attempt, event.failure, context);
     case 'endpoint-probed':
       return endProbedAttempt(forwarding, attempt, event.result, context);
-    case 'transfer-ended':
-      return endTransferStep({ forwarding, attempt }, event.result, context);
     case 'hedge-due':
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'stall-check-due':
       return checkStall(forwarding, attempt, context);
+    case 'overlap-ended':
+      return endSilentAttempt(forwarding, attempt, context);
     default:
       return assertNever(event);
   }
@@ -244,6 +238,8 @@
   if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   if (event.kind === 'content-quarantined') return cancelQuarantined(context);
+  if (event.kind === 'drain-ended') return endForDrain(context);
+  if (event.kind === 'transfer-ended') return handleTransferResult(event, context);
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
@@ -258,10 +254,10 @@
     case 'answer-continued':
     case 'answer-ended':
     case 'attempt-failed':
-    case 'transfer-ended':
     case 'endpoint-probed':
     case 'hedge-due':
-    case 'stall-check-due': {
+    case 'stall-check-due':
+    case 'overlap-ended': {
       const attempt = forwarding.attempts.get(event.attempt);
       return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
     }
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,4 +1,11 @@
-import { cancelAttempts, resumeFromCopy, placeRequest } from './attempts.js';
+import {
+  cancelAttempts,
+  openAttempt,
+  openContinuation,
+  placeRequest,
+  planFromCopy,
+  planFurtherAttempt,
+} from './attempts.js';
 import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
@@ -25,7 +32,7 @@
   | { readonly kind: 'refused'; readonly message: string }
   /** The endpoint answered with an error, which the caller gets if no other attempt succeeds. */
   | { readonly kind: 'failed-answer'; readonly message: string }
-  /** No event arrived within the stall timeout. */
+  /** No event arrived within the stall timeout, and another endpoint continues the stream. */
   | { readonly kind: 'silent'; readonly message: string };
 
 /**
@@ -43,7 +50,17 @@
   return window;
 };
 
-const takeFromBudget = (forwarding: Forwarding, context: RequestsContext): 'taken' | 'spent' => {
+/**
+ * Takes one retry from the budget of a request's service.
+ *
+ * @param forwarding - request
+ * @param context - state and inputs
+ * @returns `spent` when the budget permits no retry now
+ */
+export const takeFromBudget = (
+  forwarding: Forwarding,
+  context: RequestsContext,
+): 'taken' | 'spent' => {
   const { clock, countDaemons, getLiveSettings } = context.inputs;
   const window = getBudget(forwarding, context);
   return takeRetry(window, getLiveSettings().budget, countDaemons(), clock.now());
@@ -156,9 +173,9 @@
     return failRequest(forwarding, end.message, context);
   }
   const copy = findCopy(attempt);
-  if (copy !== null && takeFromBudget(forwarding, context) === 'taken') {
-    const resumed = resumeFromCopy(forwarding, copy.holder, copy.name, context);
-    if (resumed !== null) return resumed;
+  const plan = copy === null ? null : planFromCopy(forwarding, copy, context);
+  if (plan !== null && takeFromBudget(forwarding, context) === 'taken') {
+    return openContinuation(forwarding, plan, context);
   }
   const hasAttempts = forwarding.possibleRuns < route.maxEndpoints;
   if (!isRetryable(forwarding) || !hasAttempts)
@@ -169,12 +186,27 @@
   return placeRequest(forwarding, 'retry', context);
 };
 
+/** Resumes a generation that the target of its transfer refused at the endpoint that stopped it. */
+const resumeAtFallback = (
+  forwarding: Forwarding,
+  { endpoint, fallback }: Attempt,
+  context: RequestsContext,
+): Effects | null => {
+  if (fallback === null || fallback.holder.id === endpoint.id) return null;
+  const plan = planFromCopy(forwarding, fallback, context);
+  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return null;
+  return openContinuation(forwarding, plan, context);
+};
+
 const retryNotRun = (
   forwarding: Forwarding,
+  attempt: Attempt,
   end: AttemptEnd,
   context: RequestsContext,
 ): Effects => {
   forwarding.notRunAttempts += 1;
+  const resumed = resumeAtFallback(forwarding, attempt, context);
+  if (resumed !== null) return resumed;
   // An earlier attempt may have run the request, and this one would have resumed from its copy.
   if (forwarding.verdict !== 'not-run' && !isRetryable(forwarding)) {
     return failRequest(forwarding, end.message, context);
@@ -215,13 +247,14 @@
   // Another attempt is still running and may answer.
   if (forwarding.attempts.size > 0) return described;
   const next = isNotRun
-    ? retryNotRun(forwarding, end, context)
+    ? retryNotRun(forwarding, attempt, end, context)
     : retryAfterPossibleRun(forwarding, attempt, end, context);
   return [...described, ...next];
 };
 
 /**
  * Hedges an idempotent request: sends it to a second endpoint while the first has not answered.
+ * Without a second endpoint the first attempt goes on alone.
  *
  * @param forwarding - request with one running attempt
  * @param context - state and inputs
@@ -231,10 +264,31 @@
   const runs = forwarding.possibleRuns + forwarding.attempts.size;
   if (runs >= forwarding.route.maxEndpoints) return [];
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return [];
-  if (takeFromBudget(forwarding, context) === 'spent') return [];
-  return placeRequest(forwarding, 'hedge', context);
+  const plan = planFurtherAttempt(forwarding, 'hedge', context);
+  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return [];
+  return openAttempt(forwarding, plan, context);
 };
 
+const recordPossibleRun = (forwarding: Forwarding): void => {
+  const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
+  if (isSent) forwarding.verdict = 'may-have-run';
+};
+
+/**
+ * Ends all requests that are left when the daemon ends. A caller that has been sent nothing gets an
+ * answer instead of the end of its connection.
+ *
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const endForDrain = (context: RequestsContext): Effects =>
+  [...context.state.inFlight.values()].flatMap((forwarding) => {
+    recordPossibleRun(forwarding);
+    const cancelled = cancelAttempts(forwarding);
+    const reason = 'the daemon ends before the answer is complete';
+    return [...cancelled, ...failRequest(forwarding, reason, context)];
+  });
+
 /**
  * Ends a request at its deadline.
  *
@@ -243,8 +297,7 @@
  * @returns effects
  */
 export const expireRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
-  const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
-  if (isSent) forwarding.verdict = 'may-have-run';
+  recordPossibleRun(forwarding);
   const observations = [...forwarding.attempts.values()].map(({ endpoint }): GatewayEffect => ({
     kind: 'post',
     event: {
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,4 +1,4 @@
-import { chooseTransferTarget, resumeFromCopy } from './attempts.js';
+import { chooseTransferTarget, openContinuation, planFromCopy } from './attempts.js';
 import {
   MAX_TRANSFER_TRIES,
   TRANSFER_CHECK_MS,
@@ -14,7 +14,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
 
 /** A running generation: its request, and the attempt at the endpoint that runs it. */
@@ -29,12 +29,13 @@
   mode: TransferOrder['mode'],
 ): GatewayEffect => {
   const { request } = forwarding;
-  const source = attempt.endpoint.address;
+  const { address, id } = attempt.endpoint;
   return {
     kind: 'start-transfer',
     key: request.key,
     attempt: attempt.number,
-    order: { requestId: request.id, source, target: target.address, mode },
+    source: { id, address },
+    order: { requestId: request.id, source: address, target: target.address, mode },
   };
 };
 
@@ -182,12 +183,18 @@
 ): Effects => {
   const { attempt, forwarding } = run;
   const { key } = forwarding.request;
-  forwarding.attempts.delete(attempt.number);
-  const resumed = resumeFromCopy(forwarding, endpoint, copy, context);
-  if (resumed !== null) {
-    return [{ kind: 'cancel-attempt', key, attempt: attempt.number }, ...resumed];
+  const plan = planFromCopy(forwarding, { holder: endpoint, name: copy }, context);
+  if (plan !== null) {
+    forwarding.attempts.delete(attempt.number);
+    return [
+      { kind: 'cancel-attempt', key, attempt: attempt.number },
+      ...openContinuation(
+        forwarding,
+        { ...plan, fallback: { holder: attempt.endpoint, name: copy } },
+        context,
+      ),
+    ];
   }
-  forwarding.attempts.set(attempt.number, attempt);
   const end = {
     kind: 'broken',
     message: 'the endpoint that holds the copy is not available',
@@ -256,15 +263,7 @@
   return [...released, ...endAttempt(run.forwarding, run.attempt, end, context)];
 };
 
-/**
- * Handles the result of one step of a transfer.
- *
- * @param run - generation at the source
- * @param result - how the step ended
- * @param context - state and inputs
- * @returns effects
- */
-export const endTransferStep = (
+const endTransferStep = (
   run: RunningGeneration,
   result: TransferResult,
   context: RequestsContext,
@@ -303,6 +302,34 @@
   }
 };
 
+/**
+ * Handles the result of a step of a transfer whose generation ended meanwhile: the copy is not used,
+ * and the next generation has its turn.
+ */
+const endUnusedStep = ({ address, id }: TransferSource, result: TransferResult): Effects => {
+  const released: Effects =
+    result.kind === 'copied' ? [{ kind: 'release-copy', address, handle: result.handle }] : [];
+  return [...released, REPORT_TO_PEERS, scheduleNextTransfer(id, 0)];
+};
+
+/**
+ * Handles the result of one step of a transfer.
+ *
+ * @param event - generation, source and how the step ended
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const handleTransferResult = (
+  { attempt: number, key, result, source }: Extract<RequestsEvent, { kind: 'transfer-ended' }>,
+  context: RequestsContext,
+): Effects => {
+  const forwarding = context.state.inFlight.get(key);
+  const attempt = forwarding?.attempts.get(number);
+  return forwarding === undefined || attempt === undefined
+    ? endUnusedStep(source, result)
+    : endTransferStep({ forwarding, attempt }, result, context);
+};
+
 /**
  * Checks whether a stream ended early because a transfer stopped its generation, and records it.
  *
