Log the epoch of the store with the positions of the feeds

The logs could not tell a read of a restored store from one in calm: they had neither the offset nor the copy of the store it belongs to. A feed position is now an epoch and an offset; the adapter translates the store's header. store-restored (3020) logs an answer whose epoch is not that of the position, with both positions, configuration-applied and feed-reloaded have the epoch, and gateway_store_restores_total counts.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -294,7 +294,12 @@
   'feed-reloaded': {
     number: 3010,
     level: 'info',
-    text: 'Records were past their retention, so the newest ones are loaded again.',
+    text: 'The store does not have the records at the position, so the newest ones are loaded again.',
+  },
+  'store-restored': {
+    number: 3020,
+    level: 'warn',
+    text: 'The store answers from another copy of its records, which may lack the latest ones.',
   },
   'transfer-step': {
     number: 5008,
--- a/packages/gateway/configuration/configuration.ts
+++ b/packages/gateway/configuration/configuration.ts
@@ -21,7 +21,7 @@
   GatewayEffect
 > => ({
   init: () => toStep<ConfigurationState, GatewayEffect>({ table: null }),
-  decide: (state, { configuration }) => {
+  decide: (state, { configuration, epoch }) => {
     if (state.table !== null && state.table.version >= configuration.version) return toStep(state);
     const { limits, routes, services, version } = configuration;
     return toStep<ConfigurationState, GatewayEffect>(
@@ -39,6 +39,7 @@
           data: {
             version,
             before: state.table?.version ?? 0,
+            epoch: epoch ?? 'none',
             routes: routes.length,
             services: services.length,
           },
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -3,10 +3,12 @@
   AttemptHead,
   EngineReport,
   FeedName,
+  FeedPosition,
   FeedResult,
   MoveOrder,
   RecordChange,
   RemovalCertainty,
+  StoreEpoch,
   TransferOrder,
   TransferResult,
 } from './types.js';
@@ -50,6 +52,8 @@
 export type ConfigurationEvent = { readonly to: 'configuration' } & {
   readonly kind: 'configuration-read';
   readonly configuration: ForwardingConfiguration;
+  /** Epoch of the store that returned the record. */
+  readonly epoch: StoreEpoch;
 };
 
 export type MembershipEvent = { readonly to: 'membership' } & (
@@ -211,7 +215,7 @@
   | {
       readonly kind: 'read-feed';
       readonly feed: FeedName;
-      readonly position: number;
+      readonly position: FeedPosition;
       readonly waitMs: Millis;
     }
   | {
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -6,13 +6,15 @@
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect } from '../events.js';
-import type { FeedName, FeedResult, RecordChange } from '../types.js';
+import type { FeedName, FeedPosition, FeedResult, RecordChange } from '../types.js';
 
 const buildPacingInputs = (daemons: number): PacingInputs => ({
   daemons,
   stalenessLimits: { leavingMs: 2_000, outageMs: 3_000 },
 });
 
+const toPosition = (offset: number, epoch = 1): FeedPosition => ({ epoch, offset });
+
 const createHarness = (daemons = 4) => {
   const clock = createVirtualClock(1_000);
   const logic = createFeedsLogic({ clock, getPacingInputs: () => buildPacingInputs(daemons) });
@@ -46,22 +48,30 @@
   const effects = harness.answer('operator', {
     kind: 'loaded',
     changes: [{ kind: 'configuration', configuration: CONFIGURATION }],
-    position: 9,
+    position: toPosition(9),
   });
   const posted = effects.flatMap((effect) => (effect.kind === 'post' ? [effect.event.kind] : []));
   t.true(posted.includes('configuration-read'));
   t.true(posted.includes('data-centres-changed'));
-  const quiet = harness.answer('operator', { kind: 'read', changes: [], position: 9 });
-  t.like(quiet[0], { kind: 'read-feed', position: 9 });
+  const quiet = harness.answer('operator', { kind: 'read', changes: [], position: toPosition(9) });
+  t.like(quiet[0], { kind: 'read-feed', position: toPosition(9) });
 });
 
 // Guards against a daemon that keeps records which were removed while it could not follow the feed.
 test('a feed is loaded again when its position has expired', (t) => {
   const harness = createHarness();
-  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
-  const effects = harness.answer('registrations', { kind: 'expired' });
+  harness.answer('registrations', {
+    kind: 'loaded',
+    changes: [REGISTERED],
+    position: toPosition(4),
+  });
+  const effects = harness.answer('registrations', { kind: 'expired', epoch: 1 });
   t.deepEqual(effects.at(-1), { kind: 'load-feed', feed: 'registrations' });
-  const reloaded = harness.answer('registrations', { kind: 'loaded', changes: [], position: 6 });
+  const reloaded = harness.answer('registrations', {
+    kind: 'loaded',
+    changes: [],
+    position: toPosition(6),
+  });
   t.like(findRegistrations(reloaded)[0], { scope: 'all', removals: { kind: 'certain' } });
 });
 
@@ -69,16 +79,28 @@
 // outage of the store.
 test('removals are uncertain for a grace period after an outage', (t) => {
   const harness = createHarness();
-  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
+  harness.answer('registrations', {
+    kind: 'loaded',
+    changes: [REGISTERED],
+    position: toPosition(4),
+  });
   const lost = harness.answer('registrations', FAILED);
   t.true(lost.some((effect) => effect.kind === 'log' && effect.name === 'log-unavailable'));
   t.false(harness.answer('registrations', FAILED).some(({ kind }) => kind === 'log'));
   harness.clock.advance(5_000);
-  const back = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 5 });
+  const back = harness.answer('registrations', {
+    kind: 'read',
+    changes: [REMOVED],
+    position: toPosition(5),
+  });
   t.deepEqual(findRegistrations(back)[0]?.removals, { kind: 'uncertain', since: 6_000 });
   t.true(back.some((effect) => effect.kind === 'log' && effect.name === 'log-available'));
   harness.clock.advance(REREGISTRATION_GRACE_MS);
-  const later = harness.answer('registrations', { kind: 'read', changes: [REMOVED], position: 6 });
+  const later = harness.answer('registrations', {
+    kind: 'read',
+    changes: [REMOVED],
+    position: toPosition(6),
+  });
   t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
 });
 
@@ -89,7 +111,11 @@
   const check = (): boolean =>
     isFeedStale(harness.getState().registrations, harness.clock.now(), buildPacingInputs(4));
   t.true(check());
-  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position: 4 });
+  harness.answer('registrations', {
+    kind: 'loaded',
+    changes: [REGISTERED],
+    position: toPosition(4),
+  });
   harness.clock.advance(440 + FEED_STALENESS_MARGIN_MS);
   t.false(check());
   harness.clock.advance(1);
@@ -99,11 +125,11 @@
 // Guards against one read for each registration: each endpoint renews its own about once a second.
 test('reads of registrations pause after records', (t) => {
   const harness = createHarness();
-  harness.answer('registrations', { kind: 'loaded', changes: [], position: 0 });
+  harness.answer('registrations', { kind: 'loaded', changes: [], position: toPosition(0) });
   const effects = harness.answer('registrations', {
     kind: 'read',
     changes: [REGISTERED],
-    position: 1,
+    position: toPosition(1),
   });
   t.true(effects.some((effect) => effect.kind === 'schedule' && effect.delayMs > 100));
 });
@@ -113,7 +139,7 @@
 test('the pause between reads grows with the number of daemons, within limits', (t) => {
   const delays = [1, 4, 16, 400].map((daemons) => {
     const harness = createHarness(daemons);
-    const result: FeedResult = { kind: 'loaded', changes: [REGISTERED], position: 4 };
+    const result: FeedResult = { kind: 'loaded', changes: [REGISTERED], position: toPosition(4) };
     const timer = harness.answer('registrations', result).at(-1);
     return timer?.kind === 'schedule' ? timer.delayMs : 0;
   });
@@ -125,9 +151,26 @@
 test('long polls of operator records grow with the number of daemons, within limits', (t) => {
   const waits = [1, 4, 400].map((daemons) => {
     const harness = createHarness(daemons);
-    const result: FeedResult = { kind: 'loaded', changes: [], position: 4 };
+    const result: FeedResult = { kind: 'loaded', changes: [], position: toPosition(4) };
     const read = harness.answer('operator', result).at(-1);
     return read?.kind === 'read-feed' ? read.waitMs : 0;
   });
   t.deepEqual(waits, [1_000, 1_400, 1_500]);
 });
+
+// Guards against a restore of the store that leaves no line in the logs, because the position has
+// been given out again and the read succeeds.
+test('an answer of another epoch than the position is logged with both positions', (t) => {
+  const harness = createHarness();
+  harness.answer('operator', { kind: 'loaded', changes: [], position: toPosition(9) });
+  const effects = harness.answer('operator', {
+    kind: 'read',
+    changes: [],
+    position: toPosition(11, 2),
+  });
+  const line = effects.find((effect) => effect.kind === 'log');
+  t.is(line?.name, 'store-restored');
+  t.like(line?.details.data, { epochBefore: 1, offsetBefore: 9, epoch: 2, offset: 11 });
+  const expired = harness.answer('operator', { kind: 'expired', epoch: 3 });
+  t.true(expired.some((effect) => effect.kind === 'log' && effect.name === 'store-restored'));
+});
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -10,6 +10,7 @@
   REREGISTRATION_GRACE_MS,
   STALLED_READ_MARGIN_MS,
 } from './constants.js';
+import { publishChanges } from './changes.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -18,10 +19,11 @@
 import type { FeedsEvent, GatewayEffect } from '../events.js';
 import type {
   FeedName,
+  FeedPosition,
   FeedResult,
-  StalenessLimits,
-  RecordChange,
   RemovalCertainty,
+  StalenessLimits,
+  StoreEpoch,
 } from '../types.js';
 
 /** Progress of this daemon in one feed. */
@@ -29,7 +31,7 @@
   | { readonly kind: 'loading'; readonly failingSince: Millis | null }
   | {
       readonly kind: 'following';
-      readonly position: number;
+      readonly position: FeedPosition;
       readonly failingSince: Millis | null;
       readonly readAt: Millis;
       /** Removals read before this instant may only mean that the store was unavailable. */
@@ -38,9 +40,6 @@
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
 
-/** Whether the changes are the complete content of a feed, or only the records that changed. */
-type Scope = 'all' | 'changed';
-
 export interface FeedsInputs {
   readonly clock: Clock;
   readonly getPacingInputs: () => PacingInputs;
@@ -118,70 +117,6 @@
   state.failingSince !== null ||
   now - state.readAt > computePause('registrations', pacing) + FEED_STALENESS_MARGIN_MS;
 
-const describeUnreadable = (feed: FeedName, changes: readonly RecordChange[]): GatewayEffect[] =>
-  changes.flatMap((change) =>
-    change.kind === 'unreadable'
-      ? [
-          {
-            kind: 'log' as const,
-            name: 'record-unreadable' as const,
-            details: { entity: change.key, data: { feed, reason: change.reason } },
-          },
-        ]
-      : [],
-  );
-
-const publishOperator = (changes: readonly RecordChange[], scope: Scope): GatewayEffect[] => {
-  const effects: GatewayEffect[] = [];
-  for (const change of changes) {
-    if (change.kind !== 'configuration') continue;
-    const { configuration } = change;
-    const event = { to: 'configuration', kind: 'configuration-read', configuration } as const;
-    effects.push({ kind: 'post', event });
-  }
-  effects.push({
-    kind: 'post',
-    event: { to: 'membership', kind: 'data-centres-changed', changes, scope },
-  });
-  const orders = changes.flatMap((change) =>
-    change.kind === 'move-ordered' ? [change.order] : [],
-  );
-  const withdrawn = changes.flatMap((change) =>
-    change.kind === 'move-withdrawn' ? [change.service] : [],
-  );
-  if (orders.length + withdrawn.length > 0 || scope === 'all') {
-    effects.push({
-      kind: 'post',
-      event: { to: 'moves', kind: 'moves-changed', orders, withdrawn, scope },
-    });
-  }
-  return effects;
-};
-
-const publishChanges = (
-  feed: FeedName,
-  changes: readonly RecordChange[],
-  scope: Scope,
-  removals: RemovalCertainty,
-): GatewayEffect[] => {
-  if (changes.length === 0 && scope === 'changed') return [];
-  const unreadable = describeUnreadable(feed, changes);
-  switch (feed) {
-    case 'operator':
-      return [...unreadable, ...publishOperator(changes, scope)];
-    case 'registrations':
-      return [
-        ...unreadable,
-        {
-          kind: 'post',
-          event: { to: 'membership', kind: 'registrations-changed', changes, scope, removals },
-        },
-      ];
-    default:
-      return assertNever(feed);
-  }
-};
-
 const describeRecovery = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
   state.failingSince === null
     ? []
@@ -193,6 +128,33 @@
         },
       ];
 
+/**
+ * Describes that an answer has another epoch than the position: the store was restored, and the
+ * offsets of the position and of the answer may stand for different records.
+ */
+const describeRestore = (
+  feed: FeedName,
+  state: FeedState,
+  after: { readonly epoch: StoreEpoch; readonly offset: number | null },
+  answer: FeedResult['kind'],
+): GatewayEffect[] => {
+  if (state.kind === 'loading' || after.epoch === null) return [];
+  const { epoch, offset } = state.position;
+  if (epoch === null || epoch === after.epoch) return [];
+  const data = {
+    feed,
+    answer,
+    epochBefore: epoch,
+    offsetBefore: offset,
+    epoch: after.epoch,
+    offset: after.offset ?? 'none',
+  };
+  return [
+    { kind: 'count', name: 'gateway_store_restores_total', labels: { feed } },
+    { kind: 'log', name: 'store-restored', details: { data } },
+  ];
+};
+
 /** Computes the instant until which removals are uncertain, after a successful read. */
 const computeUncertainUntil = (state: FeedState, now: Millis): Millis => {
   if (state.failingSince !== null) return now + REREGISTRATION_GRACE_MS;
@@ -223,7 +185,8 @@
     state: next,
     effects: [
       ...describeRecovery(feed, state, now),
-      ...publishChanges(feed, result.changes, scope, removals),
+      ...describeRestore(feed, state, result.position, result.kind),
+      ...publishChanges(feed, result.changes, { scope, removals, epoch: result.position.epoch }),
       pauseMs === 0
         ? readFeed(feed, next, pacing)
         : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
@@ -252,6 +215,11 @@
   });
 };
 
+const readPosition = (state: FeedState): Readonly<Record<string, number | string>> =>
+  state.kind === 'loading'
+    ? {}
+    : { epoch: state.position.epoch ?? 'none', offset: state.position.offset };
+
 const handleResult = (
   feed: FeedName,
   state: FeedState,
@@ -265,7 +233,8 @@
     case 'expired':
       return toStep<FeedState, GatewayEffect>(
         { kind: 'loading', failingSince: state.failingSince },
-        { kind: 'log', name: 'feed-reloaded', details: { data: { feed } } },
+        ...describeRestore(feed, state, { epoch: result.epoch, offset: null }, result.kind),
+        { kind: 'log', name: 'feed-reloaded', details: { data: { feed, ...readPosition(state) } } },
         { kind: 'load-feed', feed },
       );
     case 'failed':
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -83,23 +83,42 @@
    */
   | { readonly kind: 'uncertain'; readonly since: Millis };
 
+/**
+ * Number of the store's current copy of its records, which rises each time the store is restored
+ * from an older copy; null when the store doesn't state it. Offsets are comparable only within one
+ * epoch.
+ */
+export type StoreEpoch = number | null;
+
+/** Position in a feed. */
+export interface FeedPosition {
+  readonly epoch: StoreEpoch;
+  /** Offset of the next record to read. */
+  readonly offset: number;
+}
+
 /** Result of reading a feed. */
 export type FeedResult =
   | {
       /** All current records; records that are missing from `changes` no longer exist. */
       readonly kind: 'loaded';
       readonly changes: readonly RecordChange[];
-      readonly position: number;
+      readonly position: FeedPosition;
+    }
+  | {
+      readonly kind: 'read';
+      readonly changes: readonly RecordChange[];
+      /** Position after the changes, in the epoch of the answer. */
+      readonly position: FeedPosition;
     }
-  | { readonly kind: 'read'; readonly changes: readonly RecordChange[]; readonly position: number }
-  /** The store no longer keeps the records after the position. */
-  | { readonly kind: 'expired' }
+  /** The store does not have the records after the position. */
+  | { readonly kind: 'expired'; readonly epoch: StoreEpoch }
   | { readonly kind: 'failed'; readonly message: string };
 
 /** Reads the feeds; a failed read is a result too. */
 export interface FeedReader {
   readonly load: (feed: FeedName) => Promise<FeedResult>;
-  readonly read: (feed: FeedName, position: number, waitMs: Millis) => Promise<FeedResult>;
+  readonly read: (feed: FeedName, position: FeedPosition, waitMs: Millis) => Promise<FeedResult>;
   readonly close: () => void;
 }
 
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -1,5 +1,5 @@
 import { Agent, request as openRequest } from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { MAX_RESPONSE_BYTES } from './constants.js';
@@ -16,6 +16,7 @@
 /** Response with its whole body. */
 export interface HttpResponse {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly retryAfterMs: Millis | undefined;
   readonly body: Uint8Array;
 }
@@ -63,6 +64,7 @@
   }
   return {
     status: response.statusCode ?? 0,
+    headers: response.headers,
     retryAfterMs: parseRetryAfter(response.headers['retry-after'], Date.now()),
     body: Buffer.concat(chunks),
   };
