Read a feed again from the start when the store was restored

Callers could see a key that was revoked, a route that was not served or a data centre that was used although a confirmed record said otherwise. Cause: a position was an offset without the copy of the store it belongs to. A restored store gives offsets out again; once the log has grown past the position before the next read, the read succeeds and the records written again below the position are skipped for good.

Now an answer is applied only at the position from which it was read and in its epoch. One of a newer epoch loads the feed again, one of an older epoch changes nothing and the read is repeated, and an answer to a read of an earlier incarnation of the child is ignored, which until now left two series of reads after its restart. A store without the header is read as before. The newest position outlives a restart of the child, so that a load is still known to come from an older copy. Removals that such a load shows are uncertain like those after an outage.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -294,7 +294,12 @@
   'feed-reloaded': {
     number: 3010,
     level: 'info',
-    text: 'The store does not have the records at the position, so the newest ones are loaded again.',
+    text: 'The position in a feed is no longer valid, so the newest records are loaded again.',
+  },
+  'feed-answer-ignored': {
+    number: 3021,
+    level: 'info',
+    text: 'An answer to an earlier read of a feed, or from an older copy of the store, was ignored.',
   },
   'store-restored': {
     number: 3020,
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -12,6 +12,7 @@
   TransferOrder,
   TransferResult,
 } from './types.js';
+import type { ReadScope } from './feeds/changes.js';
 import type { PeerCrashes } from './peers/crashReports.js';
 import type { PeerMessage } from './peers/types.js';
 import type { QuarantineLoad, QuarantineRecord } from './quarantine/types.js';
@@ -45,7 +46,13 @@
 export type ProbeResult = 'reachable' | 'refused' | 'silent';
 
 export type FeedsEvent = { readonly to: 'feeds' } & (
-  | { readonly kind: 'feed-answered'; readonly feed: FeedName; readonly result: FeedResult }
+  | {
+      readonly kind: 'feed-answered';
+      readonly feed: FeedName;
+      /** Position from which the feed was read; null for a load. */
+      readonly from: FeedPosition | null;
+      readonly result: FeedResult;
+    }
   | { readonly kind: 'feed-due'; readonly feed: FeedName }
 );
 
@@ -60,17 +67,13 @@
   | {
       readonly kind: 'registrations-changed';
       readonly changes: readonly RecordChange[];
-      /** `all`: the changes list every current registration; `changed`: only those that changed. */
-      readonly scope: 'all' | 'changed';
+      readonly scope: ReadScope;
       readonly removals: RemovalCertainty;
     }
   | {
       readonly kind: 'data-centres-changed';
       readonly changes: readonly RecordChange[];
-      /**
-       * `all`: the changes list every data centre that is out; `changed`: only those that changed.
-       */
-      readonly scope: 'all' | 'changed';
+      readonly scope: ReadScope;
     }
   | {
       readonly kind: 'attempt-observed';
@@ -122,8 +125,7 @@
   readonly kind: 'moves-changed';
   readonly orders: readonly MoveOrder[];
   readonly withdrawn: readonly string[];
-  /** `all`: the event lists every current order; `changed`: only those that changed. */
-  readonly scope: 'all' | 'changed';
+  readonly scope: ReadScope;
 };
 
 export type RequestsEvent = { readonly to: 'requests' } & (
--- a/packages/gateway/feeds/changes.ts
+++ b/packages/gateway/feeds/changes.ts
@@ -2,10 +2,16 @@
 import type { GatewayEffect } from '../events.js';
 import type { FeedName, RecordChange, RemovalCertainty, StoreEpoch } from '../types.js';
 
+/**
+ * Which records a read returned. `all`: every current record, so that a missing one no longer
+ * exists. `changed`: those that changed. `restored`: every record of an older copy from which the
+ * store was restored, so that a missing one may be written again.
+ */
+export type ReadScope = 'all' | 'changed' | 'restored';
+
 /** What the records of a read stand for. */
 export interface ReadContents {
-  /** Whether they are the complete content of a feed, or only the records that changed. */
-  readonly scope: 'all' | 'changed';
+  readonly scope: ReadScope;
   readonly removals: RemovalCertainty;
   readonly epoch: StoreEpoch;
 }
@@ -49,7 +55,7 @@
   const withdrawn = changes.flatMap((change) =>
     change.kind === 'move-withdrawn' ? [change.service] : [],
   );
-  if (orders.length + withdrawn.length > 0 || scope === 'all') {
+  if (orders.length + withdrawn.length > 0 || scope !== 'changed') {
     effects.push({
       kind: 'post',
       event: { to: 'moves', kind: 'moves-changed', orders, withdrawn, scope },
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -11,6 +11,7 @@
   STALLED_READ_MARGIN_MS,
 } from './constants.js';
 import { publishChanges } from './changes.js';
+import type { ReadScope } from './changes.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -27,21 +28,29 @@
 } from '../types.js';
 
 /** Progress of this daemon in one feed. */
-export type FeedState =
-  | { readonly kind: 'loading'; readonly failingSince: Millis | null }
-  | {
-      readonly kind: 'following';
-      readonly position: FeedPosition;
-      readonly failingSince: Millis | null;
-      readonly readAt: Millis;
-      /** Removals read before this instant may only mean that the store was unavailable. */
-      readonly uncertainUntil: Millis;
-    };
+export type FeedState = {
+  readonly failingSince: Millis | null;
+  /**
+   * Removals read before this instant may only mean that the store was unavailable or restored.
+   */
+  readonly uncertainUntil: Millis;
+} & (
+  | { readonly kind: 'loading' }
+  | { readonly kind: 'following'; readonly position: FeedPosition; readonly readAt: Millis }
+);
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
 
+/**
+ * Newest position of each feed whose records were applied. It outlives the state of the child, so
+ * that a restarted child still recognizes a restored store.
+ */
+export type NewestPositions = Map<FeedName, FeedPosition>;
+
 export interface FeedsInputs {
   readonly clock: Clock;
+  /** Updated by this child only. */
+  readonly newestPositions: NewestPositions;
   readonly getPacingInputs: () => PacingInputs;
 }
 
@@ -55,8 +64,22 @@
 interface ReadContext {
   readonly now: Millis;
   readonly pacing: PacingInputs;
+  readonly newest: NewestPositions;
 }
 
+/** Order of the epoch of an answer and that of the newest applied records. */
+type EpochOrder = 'same' | 'older' | 'newer';
+
+/**
+ * Compares the epoch of an answer with that of a position. An answer without an epoch comes from a
+ * store that states none, and is taken to have that of the position. Where only the position has
+ * none, the records may stem from any copy of the store.
+ */
+const compareEpochs = (answer: StoreEpoch, position: StoreEpoch): EpochOrder => {
+  if (answer === null || answer === position) return 'same';
+  return position === null || answer > position ? 'newer' : 'older';
+};
+
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
 const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
@@ -128,83 +151,164 @@
         },
       ];
 
-/**
- * Describes that an answer has another epoch than the position: the store was restored, and the
- * offsets of the position and of the answer may stand for different records.
- */
+const formatEpoch = (epoch: StoreEpoch): number | string => epoch ?? 'none';
+
 const describeRestore = (
+  feed: FeedName,
+  before: FeedPosition,
+  after: FeedPosition,
+): GatewayEffect[] => [
+  { kind: 'count', name: 'gateway_store_restores_total', labels: { feed } },
+  {
+    kind: 'log',
+    name: 'store-restored',
+    details: {
+      data: {
+        feed,
+        epochBefore: formatEpoch(before.epoch),
+        offsetBefore: before.offset,
+        epoch: formatEpoch(after.epoch),
+        offset: after.offset,
+      },
+    },
+  },
+];
+
+const describeReload = (feed: FeedName, state: FeedState, epoch: StoreEpoch): GatewayEffect => {
+  const position: Readonly<Record<string, number | string>> =
+    state.kind === 'loading'
+      ? {}
+      : { epochBefore: formatEpoch(state.position.epoch), offsetBefore: state.position.offset };
+  const data = { feed, epoch: formatEpoch(epoch), ...position };
+  return { kind: 'log', name: 'feed-reloaded', details: { data } };
+};
+
+const restartFeed = (
   feed: FeedName,
   state: FeedState,
-  after: { readonly epoch: StoreEpoch; readonly offset: number | null },
-  answer: FeedResult['kind'],
-): GatewayEffect[] => {
-  if (state.kind === 'loading' || after.epoch === null) return [];
-  const { epoch, offset } = state.position;
-  if (epoch === null || epoch === after.epoch) return [];
-  const data = {
-    feed,
-    answer,
-    epochBefore: epoch,
-    offsetBefore: offset,
-    epoch: after.epoch,
-    offset: after.offset ?? 'none',
-  };
-  return [
-    { kind: 'count', name: 'gateway_store_restores_total', labels: { feed } },
-    { kind: 'log', name: 'store-restored', details: { data } },
-  ];
+  epoch: StoreEpoch,
+): Step<FeedState, GatewayEffect> => {
+  const { failingSince, uncertainUntil } = state;
+  return toStep<FeedState, GatewayEffect>(
+    { kind: 'loading', failingSince, uncertainUntil },
+    describeReload(feed, state, epoch),
+    { kind: 'load-feed', feed },
+  );
 };
 
-/** Computes the instant until which removals are uncertain, after a successful read. */
-const computeUncertainUntil = (state: FeedState, now: Millis): Millis => {
-  if (state.failingSince !== null) return now + REREGISTRATION_GRACE_MS;
-  return state.kind === 'following' ? state.uncertainUntil : 0;
+/** Ignores an answer; with a retry if it belongs to the pending read, which has to be repeated. */
+const refuseAnswer = (
+  feed: FeedName,
+  state: FeedState,
+  { kind, position }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
+  reason: 'other-position' | 'older-epoch',
+): Step<FeedState, GatewayEffect> => {
+  const data = { feed, answer: kind, reason, ...position, epoch: formatEpoch(position.epoch) };
+  const line: GatewayEffect = { kind: 'log', name: 'feed-answer-ignored', details: { data } };
+  return reason === 'older-epoch'
+    ? toStep<FeedState, GatewayEffect>(state, line, scheduleRead(feed, FEED_RETRY_MS))
+    : toStep<FeedState, GatewayEffect>(state, line);
 };
 
-const handleSuccess = (
+const scheduleRead = (feed: FeedName, delayMs: Millis): GatewayEffect => ({
+  kind: 'schedule',
+  delayMs,
+  event: { to: 'feeds', kind: 'feed-due', feed },
+});
+
+const applyRecords = (
   feed: FeedName,
   state: FeedState,
-  result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  { now, pacing }: ReadContext,
+  { changes, position }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
+  scope: ReadScope,
+  { newest, now, pacing }: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const uncertainUntil = computeUncertainUntil(state, now);
-  const scope = result.kind === 'loaded' ? 'all' : 'changed';
+  const isUncertain = state.failingSince !== null || scope === 'restored';
+  const uncertainUntil = isUncertain ? now + REREGISTRATION_GRACE_MS : state.uncertainUntil;
   const removals: RemovalCertainty =
     now < uncertainUntil
       ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
       : { kind: 'certain' };
+  const before = newest.get(feed);
+  newest.set(feed, position);
   const next: FeedState = {
     kind: 'following',
-    position: result.position,
+    position,
     failingSince: null,
     readAt: now,
     uncertainUntil,
   };
-  const pauseMs = result.changes.length === 0 ? 0 : computePause(feed, pacing);
+  const pauseMs = changes.length === 0 ? 0 : computePause(feed, pacing);
   return {
     state: next,
     effects: [
       ...describeRecovery(feed, state, now),
-      ...describeRestore(feed, state, result.position, result.kind),
-      ...publishChanges(feed, result.changes, { scope, removals, epoch: result.position.epoch }),
-      pauseMs === 0
-        ? readFeed(feed, next, pacing)
-        : { kind: 'schedule', delayMs: pauseMs, event: { to: 'feeds', kind: 'feed-due', feed } },
+      ...(scope === 'restored' && before !== undefined
+        ? describeRestore(feed, before, position)
+        : []),
+      ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
+      pauseMs === 0 ? readFeed(feed, next, pacing) : scheduleRead(feed, pauseMs),
     ],
   };
 };
 
+const handleLoaded = (
+  feed: FeedName,
+  state: FeedState,
+  result: Extract<FeedResult, { kind: 'loaded' }>,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  // The answer to a load of an earlier incarnation of this child.
+  if (state.kind === 'following') return refuseAnswer(feed, state, result, 'other-position');
+  const before = context.newest.get(feed);
+  if (before === undefined) return applyRecords(feed, state, result, 'all', context);
+  const order = compareEpochs(result.position.epoch, before.epoch);
+  switch (order) {
+    case 'same':
+      return applyRecords(feed, state, result, 'all', context);
+    case 'newer':
+      return applyRecords(feed, state, result, 'restored', context);
+    case 'older':
+      return refuseAnswer(feed, state, result, 'older-epoch');
+    default:
+      return assertNever(order);
+  }
+};
+
+const isSamePosition = (state: FeedState, from: FeedPosition | null): boolean =>
+  state.kind === 'following' &&
+  state.position.offset === from?.offset &&
+  state.position.epoch === from.epoch;
+
+const handleRead = (
+  feed: FeedName,
+  state: FeedState,
+  from: FeedPosition | null,
+  result: Extract<FeedResult, { kind: 'read' }>,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  if (!isSamePosition(state, from)) return refuseAnswer(feed, state, result, 'other-position');
+  const order = compareEpochs(result.position.epoch, from?.epoch ?? null);
+  switch (order) {
+    case 'same':
+      return applyRecords(feed, state, result, 'changed', context);
+    case 'newer':
+      // The position may have been given out again, so the records before it may be new as well.
+      return restartFeed(feed, state, result.position.epoch);
+    case 'older':
+      return refuseAnswer(feed, state, result, 'older-epoch');
+    default:
+      return assertNever(order);
+  }
+};
+
 const handleFailure = (
   feed: FeedName,
   state: FeedState,
   message: string,
   now: Millis,
 ): Step<FeedState, GatewayEffect> => {
-  const retry: GatewayEffect = {
-    kind: 'schedule',
-    delayMs: FEED_RETRY_MS,
-    event: { to: 'feeds', kind: 'feed-due', feed },
-  };
+  const retry = scheduleRead(feed, FEED_RETRY_MS);
   if (state.failingSince !== null) return toStep(state, retry);
   const readAt = state.kind === 'following' ? state.readAt : 0;
   const data = { feed, message, ageMs: readAt === 0 ? -1 : Math.round(now - readAt) };
@@ -215,28 +319,19 @@
   });
 };
 
-const readPosition = (state: FeedState): Readonly<Record<string, number | string>> =>
-  state.kind === 'loading'
-    ? {}
-    : { epoch: state.position.epoch ?? 'none', offset: state.position.offset };
-
 const handleResult = (
   feed: FeedName,
   state: FeedState,
-  result: FeedResult,
+  { from, result }: Extract<FeedsEvent, { kind: 'feed-answered' }>,
   context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
   switch (result.kind) {
     case 'loaded':
+      return handleLoaded(feed, state, result, context);
     case 'read':
-      return handleSuccess(feed, state, result, context);
+      return handleRead(feed, state, from, result, context);
     case 'expired':
-      return toStep<FeedState, GatewayEffect>(
-        { kind: 'loading', failingSince: state.failingSince },
-        ...describeRestore(feed, state, { epoch: result.epoch, offset: null }, result.kind),
-        { kind: 'log', name: 'feed-reloaded', details: { data: { feed, ...readPosition(state) } } },
-        { kind: 'load-feed', feed },
-      );
+      return restartFeed(feed, state, result.epoch);
     case 'failed':
       return handleFailure(feed, state, result.message, context.now);
     default:
@@ -249,17 +344,19 @@
  * endpoints in the platform's store. It loads the newest record of each key once and then reads the
  * records after them.
  *
- * @param inputs - clock, and the values from which the intervals between reads are computed
+ * @param inputs - clock, newest positions, and the values from which the intervals between reads are
+ *   computed
  * @returns the decision logic
  */
 export const createFeedsLogic = ({
   clock,
   getPacingInputs,
+  newestPositions,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
-      operator: { kind: 'loading', failingSince: null },
-      registrations: { kind: 'loading', failingSince: null },
+      operator: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
+      registrations: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
     },
     effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
   }),
@@ -272,9 +369,10 @@
           readFeed(feed, state[feed], getPacingInputs()),
         );
       case 'feed-answered': {
-        const step = handleResult(feed, state[feed], event.result, {
+        const step = handleResult(feed, state[feed], event, {
           now: clock.now(),
           pacing: getPacingInputs(),
+          newest: newestPositions,
         });
         return { state: { ...state, [feed]: step.state }, effects: step.effects };
       }
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -17,6 +17,7 @@
 import type { StatedLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { ReadScope } from '../feeds/changes.js';
 import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
 
 /** Newest statement of an endpoint about its request limit. */
@@ -224,7 +225,7 @@
 const applyDataCentres = (
   { dataCentresOut }: MembershipState,
   changes: readonly RecordChange[],
-  scope: 'all' | 'changed',
+  scope: ReadScope,
 ): Effects => {
   const effects: Effects = [];
   const ordered = new Set<DataCentreId>();
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -18,7 +18,7 @@
 export const createMovesLogic = (): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
   init: () => toStep<MovesState, GatewayEffect>({ orders: new Map() }),
   decide: (state, event) => {
-    const orders = new Map(event.scope === 'all' ? [] : state.orders);
+    const orders = new Map(event.scope === 'changed' ? state.orders : []);
     for (const order of event.orders) orders.set(order.service, order);
     for (const service of event.withdrawn) orders.delete(service);
     return toStep<MovesState, GatewayEffect>({ orders });
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -5,7 +5,7 @@
 import type { PeerSocket } from './peers/peerSocket.js';
 import { STORE_RETRY_MS } from './quarantine/constants.js';
 import type { QuarantineRecord, QuarantineStore } from './quarantine/types.js';
-import type { EngineControl, FeedName, FeedReader, FeedResult } from './types.js';
+import type { EngineControl, FeedName, FeedPosition, FeedReader, FeedResult } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
 import type { Loop } from '../core/loop/types.js';
@@ -35,11 +35,12 @@
 
 const postFeedResult = (
   feed: FeedName,
+  from: FeedPosition | null,
   pending: Promise<FeedResult>,
   adapters: GatewayAdapters,
 ): void => {
   void pending.then((result) => {
-    adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
+    adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, from, result });
   });
 };
 
@@ -118,11 +119,12 @@
       metrics.recordLatency(effect.name, effect.route, effect.duration);
       return;
     case 'load-feed':
-      postFeedResult(effect.feed, feeds.load(effect.feed), adapters);
+      postFeedResult(effect.feed, null, feeds.load(effect.feed), adapters);
       return;
     case 'read-feed':
       postFeedResult(
         effect.feed,
+        effect.position,
         feeds.read(effect.feed, effect.position, effect.waitMs),
         adapters,
       );
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -219,7 +219,7 @@
           : [],
     }),
     moves: createMovesLogic(),
-    feeds: createFeedsLogic({ clock, getPacingInputs }),
+    feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
