Keep a data centre out of service when a restored store lacks the order

Callers could be served from a data centre that operators had taken out and that must be empty. Cause: a load of all records took a missing order for a withdrawn one; after a restore the copy may be older than the order, which the operator writes again at an unstated time. Now a data centre whose order is missing from a restored copy stays out until a record withdraws it, or for 30 s if nothing is written (order-held, 3022). Another load in that time doesn't end the hold, a second restore begins it anew. An order in the copy that was already withdrawn counts again until it is withdrawn again: the safe side. Applying data centres moved out of membership.ts.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -301,6 +301,11 @@
     level: 'info',
     text: 'An answer to an earlier read of a feed, or from an older copy of the store, was ignored.',
   },
+  'order-held': {
+    number: 3022,
+    level: 'warn',
+    text: 'An order that a restored store lacks still counts until it is written again or withdrawn.',
+  },
   'store-restored': {
     number: 3020,
     level: 'warn',
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -33,6 +33,7 @@
     case 'configuration-read':
     case 'registrations-changed':
     case 'data-centres-changed':
+    case 'data-centre-hold-due':
     case 'attempt-observed':
     case 'limit-observed':
     case 'load-observed':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -19,7 +19,7 @@
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
 import type { EventDetails } from '../core/events/types.js';
-import type { EndpointId } from '../core/ids.js';
+import type { DataCentreId, EndpointId } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type {
@@ -75,6 +75,12 @@
       readonly changes: readonly RecordChange[];
       readonly scope: ReadScope;
     }
+  | {
+      /** The order for a data centre was not written again after the store was restored. */
+      readonly kind: 'data-centre-hold-due';
+      readonly dataCentre: DataCentreId;
+      readonly heldAt: Millis;
+    }
   | {
       readonly kind: 'attempt-observed';
       readonly endpoint: EndpointId;
--- a/packages/gateway/feeds/constants.ts
+++ b/packages/gateway/feeds/constants.ts
@@ -46,6 +46,13 @@
 /** Time after the store's recovery within which expired registrations are renewed. */
 export const REREGISTRATION_GRACE_MS = 2_500;
 
+/**
+ * Time for which an operator's order still counts that is missing from the copy from which the store
+ * was restored. Operators write lost records again, at an unstated time. Requests to a data centre
+ * that has to be empty do more harm than a data centre that stays out too long.
+ */
+export const MISSING_ORDER_HOLD_MS = 30_000;
+
 /**
  * Time without an answer to a read of registrations, beyond the pause between reads, after which
  * the store may be unavailable. The endpoints together renew their registrations several times
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -63,6 +63,7 @@
     ),
     removed: new Map(),
     dataCentresOut: new Set(out),
+    dataCentresHeld: new Map(),
   },
   peers: buildPeers([REPORT]),
   requests: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map<string, number[]>() },
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -4,9 +4,11 @@
   MAX_REMOVED_ENDPOINTS,
   REPORT_POLL_INTERVAL_MS,
 } from './constants.js';
+import { applyDataCentres, endHold } from './dataCentres.js';
+import type { DataCentresState } from './dataCentres.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
-import type { DataCentreId, EndpointId } from '../../core/ids.js';
+import type { EndpointId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { NEW_ENDPOINT_HEALTH, observeAttempt } from '../../decisions/forwarding/endpointHealth.js';
@@ -17,8 +19,7 @@
 import type { StatedLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { ReadScope } from '../feeds/changes.js';
-import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
+import type { EngineReport, RemovalCertainty } from '../types.js';
 
 /** Newest statement of an endpoint about its request limit. */
 export interface StatedLimit {
@@ -47,7 +48,7 @@
  * Endpoints, and data centres that are out of service. Only the `membership` child updates the
  * collections, in place.
  */
-export interface MembershipState {
+export interface MembershipState extends DataCentresState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
   /**
@@ -55,7 +56,6 @@
    * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
    */
   readonly removed: Map<EndpointId, Millis>;
-  readonly dataCentresOut: Set<DataCentreId>;
 }
 
 /**
@@ -216,37 +216,6 @@
   return [...effects, ...missing.flatMap((id) => removeEndpoint(state, id, event.removals, now))];
 };
 
-const describeDataCentre = (dataCentre: DataCentreId, change: 'out' | 'in'): GatewayEffect => ({
-  kind: 'log',
-  name: 'data-centre-changed',
-  details: { dataCentre, data: { change } },
-});
-
-const applyDataCentres = (
-  { dataCentresOut }: MembershipState,
-  changes: readonly RecordChange[],
-  scope: ReadScope,
-): Effects => {
-  const effects: Effects = [];
-  const ordered = new Set<DataCentreId>();
-  for (const change of changes) {
-    if (change.kind === 'data-centre-out') {
-      ordered.add(change.dataCentre);
-      if (!dataCentresOut.has(change.dataCentre))
-        effects.push(describeDataCentre(change.dataCentre, 'out'));
-      dataCentresOut.add(change.dataCentre);
-    } else if (change.kind === 'data-centre-in' && dataCentresOut.delete(change.dataCentre)) {
-      effects.push(describeDataCentre(change.dataCentre, 'in'));
-    }
-  }
-  if (scope === 'changed') return effects;
-  for (const dataCentre of [...dataCentresOut].filter((name) => !ordered.has(name))) {
-    dataCentresOut.delete(dataCentre);
-    effects.push(describeDataCentre(dataCentre, 'in'));
-  }
-  return effects;
-};
-
 const applyObservation = (
   { endpoints }: MembershipState,
   id: EndpointId,
@@ -347,7 +316,13 @@
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
     toStep<MembershipState, GatewayEffect>(
-      { loaded: 'no', endpoints: new Map(), removed: new Map(), dataCentresOut: new Set() },
+      {
+        loaded: 'no',
+        endpoints: new Map(),
+        removed: new Map(),
+        dataCentresOut: new Set(),
+        dataCentresHeld: new Map(),
+      },
       NEXT_REPORT_POLL,
     ),
   decide: (state, event) => {
@@ -359,7 +334,9 @@
           effects: applyRegistrations(state, event, now),
         };
       case 'data-centres-changed':
-        return { state, effects: applyDataCentres(state, event.changes, event.scope) };
+        return { state, effects: applyDataCentres(state, event, now) };
+      case 'data-centre-hold-due':
+        return { state, effects: endHold(state, event.dataCentre, event.heldAt) };
       case 'attempt-observed':
         return { state, effects: applyObservation(state, event.endpoint, event.observation, now) };
       case 'limit-observed':
