Keep an order to move to a version when a restored store lacks it

Callers could get answers of an unproven version as soon as the store came back from a copy older than the order: while there is an order, the endpoints of its target version get no requests, and a load took a missing order for a withdrawn one.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -46,6 +46,7 @@
     case 'report-poll-due':
     case 'report-due':
     case 'moves-changed':
+    case 'move-hold-due':
     case 'deadline-reached':
     case 'placement-due':
     case 'hedge-due':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -127,12 +127,16 @@
   | { readonly kind: 'report-changed' }
 );
 
-export type MovesEvent = { readonly to: 'moves' } & {
-  readonly kind: 'moves-changed';
-  readonly orders: readonly MoveOrder[];
-  readonly withdrawn: readonly string[];
-  readonly scope: ReadScope;
-};
+export type MovesEvent = { readonly to: 'moves' } & (
+  | {
+      readonly kind: 'moves-changed';
+      readonly orders: readonly MoveOrder[];
+      readonly withdrawn: readonly string[];
+      readonly scope: ReadScope;
+    }
+  /** The order for a service was not written again after the store was restored. */
+  | { readonly kind: 'move-hold-due'; readonly service: string; readonly heldAt: Millis }
+);
 
 export type RequestsEvent = { readonly to: 'requests' } & (
   | { readonly kind: 'request-arrived'; readonly request: ForwardRequest }
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -67,7 +67,7 @@
   },
   peers: buildPeers([REPORT]),
   requests: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map<string, number[]>() },
-  moves: { orders: new Map() },
+  moves: { orders: new Map(), held: new Map() },
 });
 
 const INPUTS = { process: 'p-1', hash: (text: string) => text.length };
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -1,26 +1,105 @@
+import { assertNever } from '../../core/assertNever.js';
+import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MovesEvent } from '../events.js';
+import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 import type { MoveOrder } from '../types.js';
 
 /** Current orders to move services to other versions. */
 export interface MovesState {
   readonly orders: ReadonlyMap<ServiceName, MoveOrder>;
+  /**
+   * Services whose order is missing from the copy from which the store was restored, with the
+   * instants at which that was read.
+   */
+  readonly held: ReadonlyMap<ServiceName, Millis>;
 }
 
+type MovesChanged = Extract<MovesEvent, { kind: 'moves-changed' }>;
+
+const holdOrder = ({ service, targetVersion }: MoveOrder, now: Millis): GatewayEffect[] => [
+  {
+    kind: 'log',
+    name: 'order-held',
+    details: {
+      entity: service,
+      data: { order: 'move', targetVersion, forMs: MISSING_ORDER_HOLD_MS },
+    },
+  },
+  {
+    kind: 'schedule',
+    delayMs: MISSING_ORDER_HOLD_MS,
+    event: { to: 'moves', kind: 'move-hold-due', service, heldAt: now },
+  },
+];
+
+/** Lists the known orders that the records of a load do not withdraw. */
+const listRemaining = (
+  { held, orders }: MovesState,
+  scope: MovesChanged['scope'],
+): readonly MoveOrder[] => {
+  switch (scope) {
+    case 'changed':
+    case 'restored':
+      return [...orders.values()];
+    case 'all':
+      return [...orders.values()].filter(({ service }) => held.has(service));
+    default:
+      return assertNever(scope);
+  }
+};
+
+const applyChanges = (
+  state: MovesState,
+  { orders: ordered, scope, withdrawn }: MovesChanged,
+  now: Millis,
+): Step<MovesState, GatewayEffect> => {
+  const orders = new Map(listRemaining(state, scope).map((order) => [order.service, order]));
+  const held = new Map(state.held);
+  for (const service of [...ordered.map((order) => order.service), ...withdrawn]) {
+    orders.delete(service);
+    held.delete(service);
+  }
+  const missing = scope === 'restored' ? [...orders.values()] : [];
+  for (const { service } of missing) held.set(service, now);
+  for (const order of ordered) {
+    if (!withdrawn.includes(order.service)) orders.set(order.service, order);
+  }
+  return { state: { orders, held }, effects: missing.flatMap((order) => holdOrder(order, now)) };
+};
+
+const endHold = (state: MovesState, service: ServiceName, heldAt: Millis): MovesState => {
+  if (state.held.get(service) !== heldAt) return state;
+  const orders = new Map(state.orders);
+  const held = new Map(state.held);
+  orders.delete(service);
+  held.delete(service);
+  return { orders, held };
+};
+
 /**
  * Creates the decision logic of the `moves` child, which keeps the orders to move services to other
- * versions.
+ * versions. An order that is missing from a restored store still counts until it is withdrawn, but
+ * for `MISSING_ORDER_HOLD_MS` at most unless it is written again.
  *
+ * @param clock - source of the instants of holds
  * @returns the decision logic
  */
-export const createMovesLogic = (): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
-  init: () => toStep<MovesState, GatewayEffect>({ orders: new Map() }),
+export const createMovesLogic = (
+  clock: Clock,
+): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
+  init: () => toStep<MovesState, GatewayEffect>({ orders: new Map(), held: new Map() }),
   decide: (state, event) => {
-    const orders = new Map(event.scope === 'changed' ? state.orders : []);
-    for (const order of event.orders) orders.set(order.service, order);
-    for (const service of event.withdrawn) orders.delete(service);
-    return toStep<MovesState, GatewayEffect>({ orders });
+    switch (event.kind) {
+      case 'moves-changed':
+        return applyChanges(state, event, clock.now());
+      case 'move-hold-due':
+        return toStep<MovesState, GatewayEffect>(endHold(state, event.service, event.heldAt));
+      default:
+        return assertNever(event);
+    }
   },
 });
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -218,7 +218,7 @@
           ? listSingleRunEndpoints(states.requests)
           : [],
     }),
-    moves: createMovesLogic(),
+    moves: createMovesLogic(clock),
     feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
     frontend: createGateLogic({
       clock,
