Apply records about version moves in the order of the feed

When one read returned the withdrawal of an order and a new order for the same service, the new order was dropped, and the endpoints of its target version got requests as usual. Cause: the records were split into orders and withdrawals, and the withdrawals applied last. An operator who writes lost records again makes such reads likely. The records now reach the child as they were read.

Evidence: on the sources before, 'an order that follows a withdrawal in one read counts' saw no order instead of v3; it passes now, with the tests of feeds, membership and records.

--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -5,7 +5,7 @@
   FeedName,
   FeedPosition,
   FeedResult,
-  MoveOrder,
+  MoveChange,
   RecordChange,
   RemovalCertainty,
   StoreEpoch,
@@ -130,8 +130,7 @@
 export type MovesEvent = { readonly to: 'moves' } & (
   | {
       readonly kind: 'moves-changed';
-      readonly orders: readonly MoveOrder[];
-      readonly withdrawn: readonly string[];
+      readonly changes: readonly MoveChange[];
       readonly scope: ReadScope;
     }
   /** The order for a service was not written again after the store was restored. */
--- a/packages/gateway/feeds/changes.ts
+++ b/packages/gateway/feeds/changes.ts
@@ -49,16 +49,13 @@
     kind: 'post',
     event: { to: 'membership', kind: 'data-centres-changed', changes, scope },
   });
-  const orders = changes.flatMap((change) =>
-    change.kind === 'move-ordered' ? [change.order] : [],
+  const moves = changes.filter(
+    (change) => change.kind === 'move-ordered' || change.kind === 'move-withdrawn',
   );
-  const withdrawn = changes.flatMap((change) =>
-    change.kind === 'move-withdrawn' ? [change.service] : [],
-  );
-  if (orders.length + withdrawn.length > 0 || scope !== 'changed') {
+  if (moves.length > 0 || scope !== 'changed') {
     effects.push({
       kind: 'post',
-      event: { to: 'moves', kind: 'moves-changed', orders, withdrawn, scope },
+      event: { to: 'moves', kind: 'moves-changed', changes: moves, scope },
     });
   }
   return effects;
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -36,7 +36,7 @@
   },
 ];
 
-/** Lists the known orders that the records of a load do not withdraw. */
+/** Lists the known orders that a load without them does not withdraw. */
 const listRemaining = (
   { held, orders }: MovesState,
   scope: MovesChanged['scope'],
@@ -52,23 +52,27 @@
   }
 };
 
+/** Applies the records in the order of the feed, in which one may replace the one before. */
 const applyChanges = (
   state: MovesState,
-  { orders: ordered, scope, withdrawn }: MovesChanged,
+  { changes, scope }: MovesChanged,
   now: Millis,
 ): Step<MovesState, GatewayEffect> => {
   const orders = new Map(listRemaining(state, scope).map((order) => [order.service, order]));
   const held = new Map(state.held);
-  for (const service of [...ordered.map((order) => order.service), ...withdrawn]) {
-    orders.delete(service);
+  const missing = new Map(scope === 'restored' ? orders : []);
+  for (const change of changes) {
+    const service = change.kind === 'move-ordered' ? change.order.service : change.service;
     held.delete(service);
+    missing.delete(service);
+    if (change.kind === 'move-ordered') orders.set(service, change.order);
+    else orders.delete(service);
   }
-  const missing = scope === 'restored' ? [...orders.values()] : [];
-  for (const { service } of missing) held.set(service, now);
-  for (const order of ordered) {
-    if (!withdrawn.includes(order.service)) orders.set(order.service, order);
-  }
-  return { state: { orders, held }, effects: missing.flatMap((order) => holdOrder(order, now)) };
+  for (const service of missing.keys()) held.set(service, now);
+  return {
+    state: { orders, held },
+    effects: [...missing.values()].flatMap((order) => holdOrder(order, now)),
+  };
 };
 
 const endHold = (state: MovesState, service: ServiceName, heldAt: Millis): MovesState => {
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -63,13 +63,17 @@
   readonly offset: number;
 }
 
+/** Record about an order to move a service to another version. */
+export type MoveChange =
+  | { readonly kind: 'move-ordered'; readonly order: MoveOrder }
+  | { readonly kind: 'move-withdrawn'; readonly service: ServiceName };
+
 /** One decoded record of a feed. */
 export type RecordChange =
   | { readonly kind: 'configuration'; readonly configuration: ForwardingConfiguration }
   | { readonly kind: 'data-centre-out'; readonly dataCentre: DataCentreId }
   | { readonly kind: 'data-centre-in'; readonly dataCentre: DataCentreId }
-  | { readonly kind: 'move-ordered'; readonly order: MoveOrder }
-  | { readonly kind: 'move-withdrawn'; readonly service: ServiceName }
+  | MoveChange
   | { readonly kind: 'endpoint-registered'; readonly record: EndpointRecord }
   | { readonly kind: 'endpoint-removed'; readonly id: EndpointId }
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
