Never replace what is known of an endpoint by an older record of it

Callers could be sent to an endpoint that had said that it leaves, or that was gone, more than the time within which a daemon that acknowledged the leaving has to stop. Cause: registrations were applied in the order of reads, whatever incarnation and record they stem from; a restored store returns older ones.

Now the sequence of a registration is decoded. Within one incarnation a record with a lower sequence is ignored (registration-outdated, 3023), a removed incarnation returns only with a later record, and the same record doesn't end a report of leaving. While removals are uncertain, a record of an earlier incarnation is ignored, too; otherwise it is taken, as a clock may have been set back. After an uncertain removal the same record is enough, since it may be written again unchanged. 4,096 removed incarnations are remembered. Records without start time or sequence are applied as before.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -306,6 +306,11 @@
     level: 'warn',
     text: 'An order that a restored store lacks still counts until it is written again or withdrawn.',
   },
+  'registration-outdated': {
+    number: 3023,
+    level: 'info',
+    text: 'A registration that was written before what is known of the endpoint was ignored.',
+  },
   'store-restored': {
     number: 3020,
     level: 'warn',
--- a/packages/decisions/forwarding/forwarding.fixture.ts
+++ b/packages/decisions/forwarding/forwarding.fixture.ts
@@ -120,6 +120,7 @@
   phase: 'ready',
   coldForMs: 0,
   startedAt: 1,
+  sequence: null,
   ...change,
 });
 
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -106,6 +106,8 @@
   readonly coldForMs: Millis;
   /** Start time by the endpoint's own clock; it distinguishes two incarnations under one id. */
   readonly startedAt: Millis | null;
+  /** Number of the record among those of its incarnation, which rises with each; null without one. */
+  readonly sequence: number | null;
 }
 
 /** Resources that a generation needs on an engine. */
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -62,6 +62,7 @@
       ]),
     ),
     removed: new Map(),
+    gone: new Map(),
     dataCentresOut: new Set(out),
     dataCentresHeld: new Map(),
   },
--- a/packages/gateway/membership/constants.ts
+++ b/packages/gateway/membership/constants.ts
@@ -10,6 +10,12 @@
 /** Limit of the removed endpoints that are kept for the reports to other daemons. */
 export const MAX_REMOVED_ENDPOINTS = 64;
 
+/**
+ * Limit of the removed incarnations that are remembered, about 0.5 MB. A copy of the store that is
+ * some seconds old has far fewer of them, even when a data centre was emptied meanwhile.
+ */
+export const MAX_GONE_INCARNATIONS = 4_096;
+
 /**
  * Time after which a stated request limit no longer counts. The endpoint may have had no request
  * since then in whose answer it could have ended the limit.
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,12 +1,18 @@
 import test from 'ava';
-import { UNCERTAIN_REMOVAL_DELAY_MS, LEAVING_REPORT_VALIDITY_MS } from './constants.js';
+import {
+  UNCERTAIN_REMOVAL_DELAY_MS,
+  LEAVING_REPORT_VALIDITY_MS,
+  MAX_GONE_INCARNATIONS,
+} from './constants.js';
 import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { ReadScope } from '../feeds/changes.js';
 import type { RecordChange, RemovalCertainty } from '../types.js';
 
 const CERTAIN: RemovalCertainty = { kind: 'certain' };
+const UNCERTAIN: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
 
 const createHarness = (polled: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
@@ -19,7 +25,7 @@
   };
   const change = (
     changes: readonly RecordChange[],
-    scope: 'all' | 'changed' = 'changed',
+    scope: ReadScope = 'changed',
     removals: RemovalCertainty = CERTAIN,
   ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
   return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
@@ -197,3 +203,107 @@
   harness.change([register('e-1', { startedAt: 2 })]);
   t.is(harness.getState().endpoints.get('e-1')?.statedLoad, null);
 });
+
+// Guards against requests to an endpoint that has acknowledged that it leaves, because an older record
+// of it is read later, from whichever source and in whatever order.
+test('an older record of an incarnation never replaces a newer one', (t) => {
+  const records = [1, 2, 3, 4].map((sequence) =>
+    register('e-1', { sequence, phase: sequence < 3 ? 'ready' : 'leaving' }),
+  );
+  const orders = [
+    [2, 0, 1, 3],
+    [3, 2, 1, 0],
+    [0, 2, 1, 1],
+    [2, 3, 0, 2],
+  ];
+  for (const order of orders) {
+    const harness = createHarness();
+    for (const index of order) {
+      const record = records[index];
+      if (record !== undefined) harness.change([record], 'restored', UNCERTAIN);
+      harness.clock.advance(LEAVING_REPORT_VALIDITY_MS);
+    }
+    const known = harness.getState().endpoints.get('e-1');
+    t.is(known?.record.phase, 'leaving', order.join(' '));
+    t.is(known?.record.sequence, Math.max(...order) + 1);
+  }
+});
+
+// Guards against requests to an endpoint that peers or its own report know as leaving, when its last
+// record is read again after a restore.
+test('a record that is read again does not end a report of leaving', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1', { sequence: 5 })]);
+  const report = { phase: 'leaving' } as const;
+  harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-1', report });
+  harness.clock.advance(LEAVING_REPORT_VALIDITY_MS);
+  harness.change([register('e-1', { sequence: 5 })], 'restored', UNCERTAIN);
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
+  harness.change([register('e-1', { sequence: 6 })]);
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
+});
+
+// Guards against requests to an endpoint that is gone, because an older copy of the store still has
+// its registration, and against an endpoint that is never used again after it came back.
+test('a removed incarnation returns only with a newer record', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1', { startedAt: 5, sequence: 7 })]);
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+  harness.change([register('e-1', { startedAt: 5, sequence: 6 })], 'restored', UNCERTAIN);
+  harness.change([register('e-1', { startedAt: 5, sequence: 7 })]);
+  harness.change([register('e-1', { startedAt: 4, sequence: 99 })], 'restored', UNCERTAIN);
+  t.deepEqual(harness.list(), []);
+  harness.change([register('e-1', { startedAt: 5, sequence: 8 })]);
+  t.deepEqual(harness.list(), ['e-1']);
+});
+
+// Guards against a worker that restarts under its id, with counts that start anew, and is taken for
+// its earlier incarnation; also where its clock was set back.
+test('a new incarnation counts from its first record on', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1', { startedAt: 5, sequence: 70 })]);
+  harness.change([register('e-1', { startedAt: 9, sequence: 1 })], 'restored', UNCERTAIN);
+  t.like(harness.getState().endpoints.get('e-1')?.record, { startedAt: 9, sequence: 1 });
+  harness.change([register('e-1', { startedAt: 5, sequence: 71 })], 'restored', UNCERTAIN);
+  t.like(harness.getState().endpoints.get('e-1')?.record, { startedAt: 9, sequence: 1 });
+  harness.change([register('e-1', { startedAt: 2, sequence: 1 })]);
+  t.like(harness.getState().endpoints.get('e-1')?.record, { startedAt: 2, sequence: 1 });
+});
+
+// Guards against a running endpoint that is not used again, because the copy lacked it and its record
+// is written again unchanged after the delay of the removal.
+test('a removal that was not certain is ended by the same record', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1', { sequence: 7 })]);
+  harness.change([], 'restored', UNCERTAIN);
+  t.deepEqual(harness.list(), ['e-1']);
+  harness.clock.advance(UNCERTAIN_REMOVAL_DELAY_MS);
+  harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
+  t.deepEqual(harness.list(), []);
+  harness.change([register('e-1', { sequence: 6 })]);
+  t.deepEqual(harness.list(), []);
+  harness.change([register('e-1', { sequence: 7 })]);
+  t.deepEqual(harness.list(), ['e-1']);
+});
+
+// Guards against endpoints of other writers, whose records cannot be ordered and would be ignored.
+test('records without a start time or sequence are applied in the order of reads', (t) => {
+  const harness = createHarness();
+  for (const fields of [{ startedAt: null, sequence: 3 }, { sequence: null }]) {
+    harness.change([register('e-1', { ...fields, phase: 'leaving' })]);
+    harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+    harness.change([register('e-1', { ...fields, sequence: null })], 'restored', UNCERTAIN);
+    t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'ready');
+  }
+});
+
+// Guards against memory that grows with every endpoint that ever left.
+test('the removed incarnations that are remembered are limited', (t) => {
+  const harness = createHarness();
+  for (let index = 0; index < MAX_GONE_INCARNATIONS + 5; index += 1) {
+    const id = `e-${index.toString()}`;
+    harness.change([register(id, { sequence: 1 }), { kind: 'endpoint-removed', id }]);
+  }
+  t.is(harness.getState().gone.size, MAX_GONE_INCARNATIONS);
+  t.false(harness.getState().gone.has('e-4'));
+});
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -6,6 +6,8 @@
 } from './constants.js';
 import { applyDataCentres, endHold } from './dataCentres.js';
 import type { DataCentresState } from './dataCentres.js';
+import { isOutdated, isSameRecord, recordGone } from './recordOrder.js';
+import type { GoneIncarnations } from './recordOrder.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
@@ -56,6 +58,7 @@
    * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
    */
   readonly removed: Map<EndpointId, Millis>;
+  readonly gone: GoneIncarnations;
 }
 
 /**
@@ -109,12 +112,14 @@
 ];
 
 const pruneEndpoint = (
-  { endpoints, removed }: MembershipState,
+  { endpoints, gone, removed }: MembershipState,
   known: KnownEndpoint,
+  removal: RemovalCertainty['kind'],
   now: Millis,
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
+  recordGone(gone, known.record, removal);
   // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
@@ -135,14 +140,29 @@
 const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
   known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
 
+const describeOutdated = ({ id, phase, sequence, startedAt }: EndpointRecord): GatewayEffect => ({
+  kind: 'log',
+  name: 'registration-outdated',
+  details: {
+    endpoint: id,
+    data: { phase, sequence: sequence ?? 'none', startedAt: startedAt ?? 'none' },
+  },
+});
+
 const registerEndpoint = (
-  { endpoints }: MembershipState,
+  { endpoints, gone }: MembershipState,
   registered: EndpointRecord,
+  removals: RemovalCertainty,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(registered.id);
+  if (isOutdated(registered, known?.record, gone, removals)) return [describeOutdated(registered)];
+  gone.delete(registered.id);
   const isNew = known === undefined || isNewIncarnation(known, registered);
-  const isLeaving = !isNew && hasValidLeavingReport(known, now);
+  const isLeaving =
+    !isNew &&
+    (hasValidLeavingReport(known, now) ||
+      (known.record.phase === 'leaving' && isSameRecord(registered, known.record)));
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
@@ -184,7 +204,7 @@
   const { endpoints } = state;
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, now);
+  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, 'certain', now);
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
@@ -206,7 +226,7 @@
   for (const change of event.changes) {
     if (change.kind === 'endpoint-registered') {
       present.add(change.record.id);
-      effects.push(...registerEndpoint(state, change.record, now));
+      effects.push(...registerEndpoint(state, change.record, event.removals, now));
     } else if (change.kind === 'endpoint-removed') {
       effects.push(...removeEndpoint(state, change.id, event.removals, now));
     }
@@ -281,7 +301,7 @@
 ): Effects => {
   const known = state.endpoints.get(id);
   if (known === undefined || known.removedAt !== removedAt) return [];
-  return pruneEndpoint(state, known, now);
+  return pruneEndpoint(state, known, 'uncertain', now);
 };
 
 const readReports = ({ endpoints }: MembershipState, polled: readonly EndpointId[]): Effects =>
@@ -320,6 +340,7 @@
         loaded: 'no',
         endpoints: new Map(),
         removed: new Map(),
+        gone: new Map(),
         dataCentresOut: new Set(),
         dataCentresHeld: new Map(),
       },
