Keep the newest configuration when its child restarts

Callers could use a revoked key again, or be refused on a route that had been added, in the middle of a process's life: after a failure of a child the configuration is loaded again, and a restored store may return an older one or none. Now the newest applied configuration outlives the state of the child and is its initial state. It is kept only after its lookup tables were built, so a configuration that makes this fail is not kept. A daemon that starts while the store has an older configuration serves it, and follows the versions as they are written again, in any order.

Evidence: on the sources before, 'a restart of the children does not bring back an older configuration' saw no version instead of 7; it passes now, with the tests of the gateway over the stand-in store. 'a daemon that starts after a restore follows the versions written again' passes before and after.

--- a/packages/gateway/configuration/configuration.ts
+++ b/packages/gateway/configuration/configuration.ts
@@ -2,6 +2,7 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { buildRoutingTable } from '../../decisions/forwarding/routing.js';
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
+import type { ForwardingConfiguration } from '../../decisions/forwarding/types.js';
 import type { ConfigurationEvent, GatewayEffect } from '../events.js';
 
 /** Routing table of the newest configuration; null until the first configuration is loaded. */
@@ -9,23 +10,37 @@
   readonly table: RoutingTable | null;
 }
 
+/**
+ * Newest configuration that this process applied. It outlives the state of the child: after a
+ * restart the store may return an older one, because it was restored from an older copy.
+ */
+export interface NewestConfiguration {
+  current: ForwardingConfiguration | null;
+}
+
 /**
  * Creates the decision logic of the `configuration` child, which keeps the newest configuration. A
- * lower version never replaces a higher one, in whatever order the records arrive.
+ * lower version never replaces a higher one while the process lives, in whatever order the records
+ * arrive.
  *
+ * @param newest - newest configuration, updated by this child only
  * @returns the decision logic
  */
-export const createConfigurationLogic = (): ChildLogic<
-  ConfigurationState,
-  ConfigurationEvent,
-  GatewayEffect
-> => ({
-  init: () => toStep<ConfigurationState, GatewayEffect>({ table: null }),
+export const createConfigurationLogic = (
+  newest: NewestConfiguration,
+): ChildLogic<ConfigurationState, ConfigurationEvent, GatewayEffect> => ({
+  init: () =>
+    toStep<ConfigurationState, GatewayEffect>({
+      table: newest.current === null ? null : buildRoutingTable(newest.current),
+    }),
   decide: (state, { configuration, epoch }) => {
     if (state.table !== null && state.table.version >= configuration.version) return toStep(state);
     const { limits, routes, services, version } = configuration;
+    const table = buildRoutingTable(configuration);
+    // Set after its table was built, so that a configuration that makes this fail is not kept.
+    newest.current = configuration;
     return toStep<ConfigurationState, GatewayEffect>(
-      { table: buildRoutingTable(configuration) },
+      { table },
       {
         kind: 'apply-limits',
         idleTimeoutMs: limits.idleTimeoutMs,
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -210,7 +210,7 @@
       buildCrashMessage: (scope) =>
         buildCrashMessage(states.quarantine.evidence, scope, clock.now()),
     }),
-    configuration: createConfigurationLogic(),
+    configuration: createConfigurationLogic({ current: null }),
     membership: createMembershipLogic({
       clock,
       listPolledEngines: () =>
