Write quarantines and their ends again after a restore of the store

Requests that crash engines could do so again once all daemons had ended, and sound requests could be refused for ten minutes by daemons that start later. Cause: what a gateway had written to the store since the copy was made is lost, and nobody writes it again. Quarantines are all that the system itself writes there (the only callers of appendRecord). Now a gateway that reads of a restore repeats its newest writes, 64 at most, of the last ten minutes and spread over 3 s: a quarantine that still holds, and the end of one that does not (quarantines-rewritten, 3024). Only the gateways that wrote a record repeat it.

Evidence: with the handling of the restore left out, 'a restored store has the quarantines and not the ended ones' saw [m/ended] instead of [m/deadly], and the three new tests of the quarantine child fail. They pass now, with 181 tests of gateway, platform and the platform's clients.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -311,6 +311,11 @@
     level: 'info',
     text: 'A registration that was written before what is known of the endpoint was ignored.',
   },
+  'quarantines-rewritten': {
+    number: 3024,
+    level: 'info',
+    text: 'The daemon repeats its writes of quarantines and their ends to a restored store.',
+  },
   'store-restored': {
     number: 3020,
     level: 'warn',
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -40,6 +40,8 @@
     case 'removal-due':
     case 'load-due':
     case 'save-due':
+    case 'remove-due':
+    case 'store-restored':
     case 'crash-observed':
     case 'answer-observed':
     case 'content-quarantined':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -115,6 +115,10 @@
   | { readonly kind: 'answer-observed'; readonly fingerprints: readonly Fingerprint[] }
   | ({ readonly kind: 'crashes-reported' } & PeerCrashes)
   | { readonly kind: 'load-due' }
+  /** The store was restored from a copy that may lack what this daemon wrote. */
+  | { readonly kind: 'store-restored'; readonly epoch: StoreEpoch }
+  /** The end of a quarantine is to be stored again. */
+  | { readonly kind: 'remove-due'; readonly fingerprint: Fingerprint }
   | { readonly kind: 'quarantines-loaded'; readonly result: QuarantineLoad }
   /** A quarantine is to be stored, again if the first time failed. */
   | { readonly kind: 'save-due'; readonly fingerprint: Fingerprint }
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -187,6 +187,8 @@
     position: toPosition(7, 2),
   });
   const line = findLine(effects, 'store-restored');
+  const posted = effects.flatMap((effect) => (effect.kind === 'post' ? [effect.event] : []));
+  t.deepEqual(posted[0], { to: 'quarantine', kind: 'store-restored', epoch: 2 });
   t.like(line, { epochBefore: 1, offsetBefore: 9, epoch: 2, offset: 7 });
 });
 
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -153,12 +153,13 @@
 
 const formatEpoch = (epoch: StoreEpoch): number | string => epoch ?? 'none';
 
-const describeRestore = (
+const publishRestore = (
   feed: FeedName,
   before: FeedPosition,
   after: FeedPosition,
 ): GatewayEffect[] => [
   { kind: 'count', name: 'gateway_store_restores_total', labels: { feed } },
+  { kind: 'post', event: { to: 'quarantine', kind: 'store-restored', epoch: after.epoch } },
   {
     kind: 'log',
     name: 'store-restored',
@@ -244,7 +245,7 @@
     effects: [
       ...describeRecovery(feed, state, now),
       ...(scope === 'restored' && before !== undefined
-        ? describeRestore(feed, before, position)
+        ? publishRestore(feed, before, position)
         : []),
       ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
       pauseMs === 0 ? readFeed(feed, next, pacing) : scheduleRead(feed, pauseMs),
--- a/packages/gateway/quarantine/quarantine.test.ts
+++ b/packages/gateway/quarantine/quarantine.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
-import { STORE_RETRY_MS } from './constants.js';
+import { MAX_REMEMBERED_WRITES, REWRITE_SPREAD_MS, STORE_RETRY_MS } from './constants.js';
 import { createQuarantineLogic } from './quarantine.js';
 import type { QuarantineRecord } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
+import { createRandomSource } from '../../core/random.js';
 import { CORRELATED_CRASH_MS, CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
 import type { GatewayEffect, QuarantineEvent } from '../events.js';
@@ -11,11 +12,14 @@
 
 const createHarness = () => {
   const clock = createVirtualClock(5_000);
-  const logic = createQuarantineLogic(clock);
-  const { state } = logic.init();
-  const post = (event: QuarantineEvent): readonly GatewayEffect[] =>
-    logic.decide(state, event).effects;
-  const recordCrash = (endpoint: string): readonly GatewayEffect[] => {
+  const logic = createQuarantineLogic({ clock, random: createRandomSource(7) });
+  let { state } = logic.init();
+  const post = (event: QuarantineEvent): readonly GatewayEffect[] => {
+    const step = logic.decide(state, event);
+    ({ state } = step);
+    return step.effects;
+  };
+  const recordCrash = (endpoint: string, content = CONTENT): readonly GatewayEffect[] => {
     clock.advance(CORRELATED_CRASH_MS);
     return post({
       to: 'quarantine',
@@ -23,7 +27,7 @@
       requestId: 'r-1',
       endpoint,
       progress: 'beginning',
-      content: CONTENT,
+      content,
     });
   };
   return {
@@ -122,3 +126,72 @@
   const [record] = findRecords(harness.post(event as QuarantineEvent));
   t.is(record?.crashes.length, 2);
 });
+
+const RESTORED: QuarantineEvent = { to: 'quarantine', kind: 'store-restored', epoch: 2 };
+
+const listTimers = (effects: readonly GatewayEffect[]) =>
+  effects.flatMap((effect) => (effect.kind === 'schedule' ? [effect] : []));
+
+// Guards against quarantines that are lost, and ended ones that come back, for daemons that start
+// after the store was restored; and against daemons that write all of them at once.
+test('the writes that a restored store may lack are repeated once, spread over time', (t) => {
+  const harness = createHarness();
+  t.deepEqual(harness.post(RESTORED), []);
+  const ended = { whole: null, parts: ['m/ended'] };
+  for (const endpoint of ['e-1', 'e-2']) harness.recordCrash(endpoint);
+  for (const endpoint of ['e-3', 'e-4']) harness.recordCrash(endpoint, ended);
+  const answered = {
+    to: 'quarantine',
+    kind: 'answer-observed',
+    fingerprints: ended.parts,
+  } as const;
+  t.deepEqual(harness.post(answered), [{ kind: 'remove-quarantine', fingerprint: 'm/ended' }]);
+  const timers = listTimers(harness.post({ ...RESTORED, epoch: 3 }));
+  t.deepEqual(
+    timers.map(({ event }) => event),
+    [
+      { to: 'quarantine', kind: 'save-due', fingerprint: 'm/deadly' },
+      { to: 'quarantine', kind: 'remove-due', fingerprint: 'm/ended' },
+    ],
+  );
+  t.true(timers.every(({ delayMs }) => delayMs < REWRITE_SPREAD_MS));
+  t.not(timers[0]?.delayMs, timers[1]?.delayMs);
+  const effects = timers.flatMap(({ event }) => harness.post(event as QuarantineEvent));
+  t.deepEqual(
+    effects.map(({ kind }) => kind),
+    ['save-quarantine', 'remove-quarantine'],
+  );
+  t.deepEqual(harness.post({ ...RESTORED, epoch: 3 }), []);
+});
+
+// Guards against a quarantine that comes back in the store because it ended, or began again, between
+// the restore and the write.
+test('a repeated write has the newest state of its quarantine', (t) => {
+  const harness = createHarness();
+  for (const endpoint of ['e-1', 'e-2']) harness.recordCrash(endpoint);
+  const [save] = listTimers(harness.post(RESTORED));
+  const answered = {
+    to: 'quarantine',
+    kind: 'answer-observed',
+    fingerprints: CONTENT.parts,
+  } as const;
+  harness.post(answered);
+  t.deepEqual(harness.post(save?.event as QuarantineEvent), []);
+  const [removal] = listTimers(harness.post({ ...RESTORED, epoch: 3 }));
+  // A fingerprint that survived once is quarantined after four more crashes.
+  for (const endpoint of ['e-3', 'e-4', 'e-5', 'e-6']) harness.recordCrash(endpoint);
+  t.is(harness.check(), 'quarantined');
+  t.deepEqual(harness.post(removal?.event as QuarantineEvent), []);
+});
+
+// Guards against calls to the store about quarantines that nobody needs any more, or without a limit.
+test('only the newest writes are repeated, and no longer than a quarantine lasts', (t) => {
+  const harness = createHarness();
+  for (let index = 0; index < MAX_REMEMBERED_WRITES + 5; index += 1) {
+    const content = { whole: null, parts: [`m/${index.toString()}`] };
+    for (const suffix of ['a', 'b']) harness.recordCrash(`e-${index.toString()}${suffix}`, content);
+  }
+  t.is(listTimers(harness.post(RESTORED)).length, MAX_REMEMBERED_WRITES);
+  harness.clock.advance(CRASH_RETENTION_MS);
+  t.deepEqual(harness.post({ ...RESTORED, epoch: 3 }), []);
+});
--- a/packages/gateway/quarantine/quarantine.ts
+++ b/packages/gateway/quarantine/quarantine.ts
@@ -1,8 +1,16 @@
-import { MAX_OBSERVED_CRASHES, MAX_STORED_CRASHES, STORE_RETRY_MS } from './constants.js';
+import {
+  MAX_OBSERVED_CRASHES,
+  MAX_REMEMBERED_WRITES,
+  MAX_STORED_CRASHES,
+  REWRITE_SPREAD_MS,
+  STORE_RETRY_MS,
+} from './constants.js';
 import type { QuarantineLoad } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
+import type { RandomSource } from '../../core/random.js';
 import { toStep } from '../../core/step.js';
+import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import {
   addCrash,
@@ -16,12 +24,28 @@
 import { CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import type { GatewayEffect, QuarantineEvent } from '../events.js';
 import { readCrashMessage, toCrashRow } from '../peers/crashReports.js';
+import type { StoreEpoch } from '../types.js';
 
 /** Crashes of endpoints by the contents of requests. Only the `quarantine` child updates it. */
 export interface QuarantineState {
   readonly evidence: CrashEvidence;
   /** Endpoints whose crash this daemon observed itself, oldest first. */
   readonly observed: Set<string>;
+  /** Newest writes of this daemon to the store, oldest first. */
+  readonly writes: Map<Fingerprint, QuarantineWrite>;
+  /** Epoch of the store to which the writes were repeated; null before the first restore. */
+  readonly rewrittenEpoch: StoreEpoch;
+}
+
+/** Write of a quarantine or of its end. */
+interface QuarantineWrite {
+  readonly kind: 'saved' | 'removed';
+  readonly at: Millis;
+}
+
+interface QuarantineInputs {
+  readonly clock: Clock;
+  readonly random: RandomSource;
 }
 
 /** How a daemon learnt of a quarantine. */
@@ -79,12 +103,25 @@
     observed.has(endpoint),
   );
 
+const recordWrite = (
+  { writes }: QuarantineState,
+  fingerprint: Fingerprint,
+  write: QuarantineWrite,
+): void => {
+  writes.delete(fingerprint);
+  writes.set(fingerprint, write);
+  const [oldest] = writes.keys();
+  if (writes.size > MAX_REMEMBERED_WRITES && oldest !== undefined) writes.delete(oldest);
+};
+
 const storeQuarantine = (
-  { evidence }: QuarantineState,
+  state: QuarantineState,
   fingerprint: Fingerprint,
   clock: Clock,
 ): GatewayEffect => {
   const now = clock.now();
+  const { evidence } = state;
+  recordWrite(state, fingerprint, { kind: 'saved', at: now });
   const crashes = [...(evidence.byFingerprint.get(fingerprint) ?? [])]
     .slice(-MAX_STORED_CRASHES)
     .map((report) => toCrashRow(report, now));
@@ -117,17 +154,84 @@
   });
 };
 
+const removeQuarantine = (
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+  now: Millis,
+): GatewayEffect => {
+  recordWrite(state, fingerprint, { kind: 'removed', at: now });
+  return { kind: 'remove-quarantine', fingerprint };
+};
+
 /** A survival ends the quarantine of its fingerprint. */
 const recordSurvivals = (
-  { evidence }: QuarantineState,
+  state: QuarantineState,
   fingerprints: readonly Fingerprint[],
   now: Millis,
 ): readonly GatewayEffect[] => {
+  const { evidence } = state;
   const ended = fingerprints.filter(
     (fingerprint) => evidence.reports.size > 0 && isQuarantined(evidence, fingerprint, now),
   );
   for (const fingerprint of fingerprints) addSurvival(evidence, { fingerprint, at: now });
-  return ended.map((fingerprint) => ({ kind: 'remove-quarantine', fingerprint }));
+  return ended.map((fingerprint) => removeQuarantine(state, fingerprint, now));
+};
+
+const repeatRemoval = (
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+  now: Millis,
+): readonly GatewayEffect[] =>
+  isQuarantined(state.evidence, fingerprint, now)
+    ? []
+    : [removeQuarantine(state, fingerprint, now)];
+
+const scheduleRewrite = (
+  fingerprint: Fingerprint,
+  { kind }: QuarantineWrite,
+  delayMs: Millis,
+): GatewayEffect => {
+  switch (kind) {
+    case 'saved':
+      return {
+        kind: 'schedule',
+        delayMs,
+        event: { to: 'quarantine', kind: 'save-due', fingerprint },
+      };
+    case 'removed':
+      return {
+        kind: 'schedule',
+        delayMs,
+        event: { to: 'quarantine', kind: 'remove-due', fingerprint },
+      };
+    default:
+      return assertNever(kind);
+  }
+};
+
+/**
+ * Schedules that this daemon repeats its newest writes, which the store may have lost. Quarantines
+ * do not outlast `CRASH_RETENTION_MS`, nor do the writes about them matter after it.
+ */
+const repeatWrites = (
+  state: QuarantineState,
+  epoch: StoreEpoch,
+  { clock, random }: QuarantineInputs,
+): Step<QuarantineState, GatewayEffect> => {
+  const { rewrittenEpoch } = state;
+  // Both feeds report the restore.
+  if (epoch !== null && rewrittenEpoch !== null && epoch <= rewrittenEpoch) return toStep(state);
+  const since = clock.now() - CRASH_RETENTION_MS;
+  const recent = [...state.writes].filter(([, { at }]) => at > since);
+  const timers = recent.map(([fingerprint, write]) =>
+    scheduleRewrite(fingerprint, write, random.next() * REWRITE_SPREAD_MS),
+  );
+  const data = { epoch: epoch ?? 'none', writes: recent.length };
+  const line: GatewayEffect = { kind: 'log', name: 'quarantines-rewritten', details: { data } };
+  return {
+    state: { ...state, rewrittenEpoch: epoch },
+    effects: timers.length === 0 ? [] : [line, ...timers],
+  };
 };
 
 const recordObserved = ({ observed }: QuarantineState, endpoint: string): void => {
@@ -163,15 +267,21 @@
  * Creates the decision logic of the `quarantine` child, which finds the contents of requests on
  * which endpoints crash, from the crashes that this daemon and its peers observe.
  *
- * @param clock - source of the instants of crashes
+ * @param inputs - source of the instants of crashes, and random numbers that spread writes
  * @returns the decision logic
  */
-export const createQuarantineLogic = (
-  clock: Clock,
-): ChildLogic<QuarantineState, QuarantineEvent, GatewayEffect> => ({
+export const createQuarantineLogic = ({
+  clock,
+  random,
+}: QuarantineInputs): ChildLogic<QuarantineState, QuarantineEvent, GatewayEffect> => ({
   init: () =>
     toStep<QuarantineState, GatewayEffect>(
-      { evidence: createCrashEvidence(), observed: new Set() },
+      {
+        evidence: createCrashEvidence(),
+        observed: new Set(),
+        writes: new Map(),
+        rewrittenEpoch: null,
+      },
       { kind: 'load-quarantines' },
     ),
   decide: (state, event) => {
@@ -188,6 +298,10 @@
         return { state, effects: [{ kind: 'load-quarantines' }] };
       case 'quarantines-loaded':
         return { state, effects: applyLoaded(state, event.result, clock) };
+      case 'store-restored':
+        return repeatWrites(state, event.epoch, { clock, random });
+      case 'remove-due':
+        return { state, effects: repeatRemoval(state, event.fingerprint, clock.now()) };
       case 'save-due':
         return { state, effects: repeatSave(state, event.fingerprint, clock) };
       default:
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -78,7 +78,7 @@
 export const createRequestsHarness = (): RequestsHarness => {
   const clock = createVirtualClock(1_000);
   const endpoints = [...buildEngines(), ...buildLedgers()];
-  const quarantine = createQuarantineLogic(clock);
+  const quarantine = createQuarantineLogic({ clock, random: createRandomSource(5) });
   const quarantineState = quarantine.init().state;
   const limits = new Map<string, RequestLimit>();
   const loads = new Map<string, EndpointLoad>();
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -186,7 +186,7 @@
       checkContent: (content) => checkContent(states.quarantine.evidence, content, clock.now()),
       hashContent,
     }),
-    quarantine: createQuarantineLogic(clock),
+    quarantine: createQuarantineLogic({ clock, random }),
     peers: createPeersLogic({
       clock,
       random,
