Report to the peers which quarantines have ended

A daemon that starts after the store was restored and before the end of a quarantine is written again loads the quarantine, and refused sound requests for up to ten minutes: survivals were reported for three seconds only.

Evidence: on the sources before, 'a daemon that loads an ended quarantine learns of its end from its peers' saw quarantined instead of accepted; it passes now, with the tests of quarantine, feeds, requests, peers and decisions (122 passed).

--- a/packages/decisions/quarantine/crashEvidence.ts
+++ b/packages/decisions/quarantine/crashEvidence.ts
@@ -347,3 +347,29 @@
   }
   return recent.sort((left, right) => right.at - left.at).slice(0, limit);
 };
+
+/**
+ * Lists the survivals that ended quarantines. A daemon that starts may read such a quarantine from
+ * the store, which may have lost its end.
+ *
+ * @param evidence - crashes and survivals
+ * @param now - current instant
+ * @param limit - maximum number of survivals
+ * @returns the survivals, newest first
+ */
+export const listEndedQuarantines = (
+  { byFingerprint, survivals }: CrashEvidence,
+  now: Millis,
+  limit: number,
+): readonly Survival[] => {
+  const ended: Survival[] = [];
+  for (const [fingerprint, reports] of byFingerprint) {
+    const at = survivals.get(fingerprint);
+    if (at === undefined) continue;
+    const cleared = [...reports]
+      .filter((report) => report.at <= at && now - report.at < CRASH_RETENTION_MS)
+      .sort((left, right) => left.at - right.at);
+    if (sumPoints(cleared) >= QUARANTINE_POINTS) ended.push({ fingerprint, at });
+  }
+  return ended.sort((left, right) => right.at - left.at).slice(0, limit);
+};
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '../../core/clock.js';
 import {
   listCrashes,
+  listEndedQuarantines,
   listQuarantineCrashes,
   listSurvivals,
 } from '../../decisions/quarantine/crashEvidence.js';
@@ -13,8 +14,8 @@
 } from '../../decisions/quarantine/crashEvidence.js';
 
 /**
- * `recent`: crashes of the last `CRASH_REPEAT_MS`. `quarantines`: also those of all quarantined
- * fingerprints, for daemons that started later.
+ * `recent`: crashes and survivals of the last `CRASH_REPEAT_MS`. `quarantines`: also those of all
+ * fingerprints that are or were quarantined, for daemons that started later.
  */
 export type CrashReportScope = 'recent' | 'quarantines';
 
@@ -57,13 +58,16 @@
   const recent = listCrashes(evidence, since, MAX_REPORTED_CRASHES);
   const lasting =
     scope === 'recent' ? [] : listQuarantineCrashes(evidence, now, MAX_REPORTED_CRASHES);
+  const survivals = listSurvivals(evidence, since, MAX_REPORTED_SURVIVALS);
+  const listed = new Set(survivals.map(({ fingerprint }) => fingerprint));
+  const ended =
+    scope === 'recent' ? [] : listEndedQuarantines(evidence, now, MAX_REPORTED_SURVIVALS);
   const rows = [...recent, ...lasting.filter(({ at }) => at < since)];
   return {
     crashes: rows.map((report) => toCrashRow(report, now)),
-    survivals: listSurvivals(evidence, since, MAX_REPORTED_SURVIVALS).map(({ at, fingerprint }) => [
-      fingerprint,
-      Math.round(now - at),
-    ]),
+    survivals: [...survivals, ...ended.filter(({ fingerprint }) => !listed.has(fingerprint))].map(
+      ({ at, fingerprint }) => [fingerprint, Math.round(now - at)],
+    ),
   };
 };
 
--- a/packages/gateway/quarantine/quarantine.test.ts
+++ b/packages/gateway/quarantine/quarantine.test.ts
@@ -7,6 +7,7 @@
 import { CORRELATED_CRASH_MS, CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
 import type { GatewayEffect, QuarantineEvent } from '../events.js';
+import { buildCrashMessage, readCrashMessage } from '../peers/crashReports.js';
 
 const CONTENT = { whole: null, parts: ['m/deadly'] };
 
@@ -35,6 +36,7 @@
     post,
     recordCrash,
     init: () => logic.init().effects,
+    buildFullReport: () => buildCrashMessage(state.evidence, 'quarantines', clock.now()),
     check: () => checkContent(state.evidence, CONTENT, clock.now()).kind,
   };
 };
@@ -195,3 +197,26 @@
   harness.clock.advance(CRASH_RETENTION_MS);
   t.deepEqual(harness.post({ ...RESTORED, epoch: 3 }), []);
 });
+
+// Guards against sound requests that a daemon refuses because it started while a restored store lacked
+// the end of their quarantine, long after the survival was reported.
+test('a daemon that loads an ended quarantine learns of its end from its peers', (t) => {
+  const first = createHarness();
+  first.recordCrash('e-1');
+  const [record] = findRecords(first.recordCrash('e-2'));
+  first.clock.advance(1);
+  first.post({ to: 'quarantine', kind: 'answer-observed', fingerprints: CONTENT.parts });
+  first.clock.advance(20_000);
+  const crashes = (record?.crashes ?? []).map(
+    ([whole, endpoint, progress, ageMs, parts]) =>
+      [whole, endpoint, progress, ageMs + 20_001, parts] as const,
+  );
+  t.is(crashes.length, 2);
+  const second = createHarness();
+  second.clock.advance(30_000);
+  second.post(load([{ fingerprint: 'm/deadly', crashes }]));
+  t.is(second.check(), 'quarantined');
+  const report = readCrashMessage(first.buildFullReport(), second.clock.now());
+  second.post({ to: 'quarantine', kind: 'crashes-reported', ...report });
+  t.is(second.check(), 'accepted');
+});
