Keep held orders when a child restarts

Callers could get requests to a data centre that has to be empty, or to an unproven version, when a child failed while the store lacked the order: a failure of the configuration also restarts membership, moves and feeds, which load what a restored store has. The data centres that are out and the orders to move now outlive the state of their children, like the newest configuration and the positions of the feeds; holds end as before.

Evidence: on the sources before, 'a restart of the children does not end the orders that a restored store lacks' fails for a restart before the restored copy was loaded; it passes now, with the tests of gateway, platform and the platform's clients.

--- a/packages/gateway/membership/dataCentres.ts
+++ b/packages/gateway/membership/dataCentres.ts
@@ -3,7 +3,10 @@
 import type { GatewayEffect, MembershipEvent } from '../events.js';
 import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 
-/** Data centres that operators took out of service. */
+/**
+ * Data centres that operators took out of service. The collections outlive the state of the child: a
+ * restored store may lack an order that has to be held.
+ */
 export interface DataCentresState {
   readonly dataCentresOut: Set<DataCentreId>;
   /**
@@ -13,6 +16,16 @@
   readonly dataCentresHeld: Map<DataCentreId, Millis>;
 }
 
+/**
+ * Creates the state without any data centre that is out.
+ *
+ * @returns the state
+ */
+export const createDataCentres = (): DataCentresState => ({
+  dataCentresOut: new Set(),
+  dataCentresHeld: new Map(),
+});
+
 type DataCentresChanged = Extract<MembershipEvent, { kind: 'data-centres-changed' }>;
 
 const describeDataCentre = (dataCentre: DataCentreId, change: 'out' | 'in'): GatewayEffect => ({
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -4,6 +4,7 @@
   LEAVING_REPORT_VALIDITY_MS,
   MAX_GONE_INCARNATIONS,
 } from './constants.js';
+import { createDataCentres } from './dataCentres.js';
 import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
@@ -16,7 +17,11 @@
 
 const createHarness = (polled: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
-  const logic = createMembershipLogic({ clock, listPolledEngines: () => polled });
+  const logic = createMembershipLogic({
+    clock,
+    dataCentres: createDataCentres(),
+    listPolledEngines: () => polled,
+  });
   let { state } = logic.init();
   const post = (event: MembershipEvent): readonly GatewayEffect[] => {
     const step = logic.decide(state, event);
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -80,6 +80,7 @@
 
 export interface MembershipInputs {
   readonly clock: Clock;
+  readonly dataCentres: DataCentresState;
   /** Lists the engines to poll for their state while their registrations may be stale. */
   readonly listPolledEngines: () => readonly EndpointId[];
 }
@@ -327,11 +328,12 @@
  * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
  * observed by this daemon, and the data centres that operators took out of service.
  *
- * @param inputs - clock, and the engines to poll
+ * @param inputs - clock, data centres that are out, and the engines to poll
  * @returns the decision logic
  */
 export const createMembershipLogic = ({
   clock,
+  dataCentres,
   listPolledEngines,
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
@@ -341,8 +343,7 @@
         endpoints: new Map(),
         removed: new Map(),
         gone: new Map(),
-        dataCentresOut: new Set(),
-        dataCentresHeld: new Map(),
+        ...dataCentres,
       },
       NEXT_REPORT_POLL,
     ),
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -18,6 +18,23 @@
   readonly held: ReadonlyMap<ServiceName, Millis>;
 }
 
+/**
+ * Newest orders of this process. They outlive the state of the child: a restored store may lack an
+ * order that has to be held.
+ */
+export interface NewestMoves {
+  current: MovesState;
+}
+
+/**
+ * Creates the orders of a process that has read none.
+ *
+ * @returns the newest orders
+ */
+export const createNewestMoves = (): NewestMoves => ({
+  current: { orders: new Map(), held: new Map() },
+});
+
 type MovesChanged = Extract<MovesEvent, { kind: 'moves-changed' }>;
 
 const holdOrder = ({ service, targetVersion }: MoveOrder, now: Millis): GatewayEffect[] => [
@@ -84,26 +101,38 @@
   return { orders, held };
 };
 
+const decideMoves = (
+  state: MovesState,
+  event: MovesEvent,
+  now: Millis,
+): Step<MovesState, GatewayEffect> => {
+  switch (event.kind) {
+    case 'moves-changed':
+      return applyChanges(state, event, now);
+    case 'move-hold-due':
+      return toStep<MovesState, GatewayEffect>(endHold(state, event.service, event.heldAt));
+    default:
+      return assertNever(event);
+  }
+};
+
 /**
  * Creates the decision logic of the `moves` child, which keeps the orders to move services to other
  * versions. An order that is missing from a restored store still counts until it is withdrawn, but
  * for `MISSING_ORDER_HOLD_MS` at most unless it is written again.
  *
  * @param clock - source of the instants of holds
+ * @param newest - newest orders, updated by this child only
  * @returns the decision logic
  */
 export const createMovesLogic = (
   clock: Clock,
+  newest: NewestMoves,
 ): ChildLogic<MovesState, MovesEvent, GatewayEffect> => ({
-  init: () => toStep<MovesState, GatewayEffect>({ orders: new Map(), held: new Map() }),
+  init: () => toStep<MovesState, GatewayEffect>(newest.current),
   decide: (state, event) => {
-    switch (event.kind) {
-      case 'moves-changed':
-        return applyChanges(state, event, clock.now());
-      case 'move-hold-due':
-        return toStep<MovesState, GatewayEffect>(endHold(state, event.service, event.heldAt));
-      default:
-        return assertNever(event);
-    }
+    const step = decideMoves(state, event, clock.now());
+    newest.current = step.state;
+    return step;
   },
 });
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -14,8 +14,9 @@
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
 import { listCandidates, listLimits } from './membership/candidates.js';
+import { createDataCentres } from './membership/dataCentres.js';
 import { createMembershipLogic, listLeaving } from './membership/membership.js';
-import { createMovesLogic } from './moves/moves.js';
+import { createMovesLogic, createNewestMoves } from './moves/moves.js';
 import { buildCrashMessage } from './peers/crashReports.js';
 import { countDaemons, countReachableDaemons, isPrecededByPeer } from './peers/fleet.js';
 import { createPeersLogic } from './peers/peers.js';
@@ -213,12 +214,13 @@
     configuration: createConfigurationLogic({ current: null }),
     membership: createMembershipLogic({
       clock,
+      dataCentres: createDataCentres(),
       listPolledEngines: () =>
         isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listSingleRunEndpoints(states.requests)
           : [],
     }),
-    moves: createMovesLogic(clock),
+    moves: createMovesLogic(clock, createNewestMoves()),
     feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
     frontend: createGateLogic({
       clock,
