--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -294,7 +294,32 @@
   'feed-reloaded': {
     number: 3010,
     level: 'info',
-    text: 'Records were past their retention, so the newest ones are loaded again.',
+    text: 'The position in a feed is no longer valid, so the newest records are loaded again.',
+  },
+  'feed-answer-ignored': {
+    number: 3021,
+    level: 'info',
+    text: 'An answer to an earlier read of a feed, or from an older copy of the store, was ignored.',
+  },
+  'order-held': {
+    number: 3022,
+    level: 'warn',
+    text: 'An order that a restored store lacks still counts until it is written again or withdrawn.',
+  },
+  'registration-outdated': {
+    number: 3023,
+    level: 'info',
+    text: 'A registration that was written before what is known of the endpoint was ignored.',
+  },
+  'quarantines-rewritten': {
+    number: 3024,
+    level: 'info',
+    text: 'The daemon repeats its writes of quarantines and their ends to a restored store.',
+  },
+  'store-restored': {
+    number: 3020,
+    level: 'warn',
+    text: 'The store answers from another copy of its records, which may lack the latest ones.',
   },
   'transfer-step': {
     number: 5008,
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -4,9 +4,13 @@
   MAX_REMOVED_ENDPOINTS,
   REPORT_POLL_INTERVAL_MS,
 } from './constants.js';
+import { applyDataCentres, endHold } from './dataCentres.js';
+import type { DataCentresState } from './dataCentres.js';
+import { isOutdated, isSameRecord, recordGone } from './recordOrder.js';
+import type { GoneIncarnations } from './recordOrder.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
-import type { DataCentreId, EndpointId } from '../../core/ids.js';
+import type { EndpointId } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import { NEW_ENDPOINT_HEALTH, observeAttempt } from '../../decisions/forwarding/endpointHealth.js';
@@ -17,7 +21,7 @@
 import type { StatedLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { EngineReport, RecordChange, RemovalCertainty } from '../types.js';
+import type { EngineReport, RemovalCertainty } from '../types.js';
 
 /** Newest statement of an endpoint about its request limit. */
 export interface StatedLimit {
@@ -46,7 +50,7 @@
  * Endpoints, and data centres that are out of service. Only the `membership` child updates the
  * collections, in place.
  */
-export interface MembershipState {
+export interface MembershipState extends DataCentresState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
   /**
@@ -54,7 +58,7 @@
    * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
    */
   readonly removed: Map<EndpointId, Millis>;
-  readonly dataCentresOut: Set<DataCentreId>;
+  readonly gone: GoneIncarnations;
 }
 
 /**
@@ -76,6 +80,7 @@
 
 export interface MembershipInputs {
   readonly clock: Clock;
+  readonly dataCentres: DataCentresState;
   /** Lists the engines to poll for their state while their registrations may be stale. */
   readonly listPolledEngines: () => readonly EndpointId[];
 }
@@ -108,12 +113,14 @@
 ];
 
 const pruneEndpoint = (
-  { endpoints, removed }: MembershipState,
+  { endpoints, gone, removed }: MembershipState,
   known: KnownEndpoint,
+  removal: RemovalCertainty['kind'],
   now: Millis,
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
+  recordGone(gone, known.record, removal);
   // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
@@ -134,14 +141,29 @@
 const hasValidLeavingReport = (known: KnownEndpoint, now: Millis): boolean =>
   known.leavingAt !== null && now - known.leavingAt < LEAVING_REPORT_VALIDITY_MS;
 
+const describeOutdated = ({ id, phase, sequence, startedAt }: EndpointRecord): GatewayEffect => ({
+  kind: 'log',
+  name: 'registration-outdated',
+  details: {
+    endpoint: id,
+    data: { phase, sequence: sequence ?? 'none', startedAt: startedAt ?? 'none' },
+  },
+});
+
 const registerEndpoint = (
-  { endpoints }: MembershipState,
+  { endpoints, gone }: MembershipState,
   registered: EndpointRecord,
+  removals: RemovalCertainty,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(registered.id);
+  if (isOutdated(registered, known?.record, gone, removals)) return [describeOutdated(registered)];
+  gone.delete(registered.id);
   const isNew = known === undefined || isNewIncarnation(known, registered);
-  const isLeaving = !isNew && hasValidLeavingReport(known, now);
+  const isLeaving =
+    !isNew &&
+    (hasValidLeavingReport(known, now) ||
+      (known.record.phase === 'leaving' && isSameRecord(registered, known.record)));
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
@@ -183,7 +205,7 @@
   const { endpoints } = state;
   const known = endpoints.get(id);
   if (known === undefined) return [];
-  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, now);
+  if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, 'certain', now);
   if (known.removedAt !== null) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
@@ -205,7 +227,7 @@
   for (const change of event.changes) {
     if (change.kind === 'endpoint-registered') {
       present.add(change.record.id);
-      effects.push(...registerEndpoint(state, change.record, now));
+      effects.push(...registerEndpoint(state, change.record, event.removals, now));
     } else if (change.kind === 'endpoint-removed') {
       effects.push(...removeEndpoint(state, change.id, event.removals, now));
     }
@@ -215,37 +237,6 @@
   return [...effects, ...missing.flatMap((id) => removeEndpoint(state, id, event.removals, now))];
 };
 
-const describeDataCentre = (dataCentre: DataCentreId, change: 'out' | 'in'): GatewayEffect => ({
-  kind: 'log',
-  name: 'data-centre-changed',
-  details: { dataCentre, data: { change } },
-});
-
-const applyDataCentres = (
-  { dataCentresOut }: MembershipState,
-  changes: readonly RecordChange[],
-  scope: 'all' | 'changed',
-): Effects => {
-  const effects: Effects = [];
-  const ordered = new Set<DataCentreId>();
-  for (const change of changes) {
-    if (change.kind === 'data-centre-out') {
-      ordered.add(change.dataCentre);
-      if (!dataCentresOut.has(change.dataCentre))
-        effects.push(describeDataCentre(change.dataCentre, 'out'));
-      dataCentresOut.add(change.dataCentre);
-    } else if (change.kind === 'data-centre-in' && dataCentresOut.delete(change.dataCentre)) {
-      effects.push(describeDataCentre(change.dataCentre, 'in'));
-    }
-  }
-  if (scope === 'changed') return effects;
-  for (const dataCentre of [...dataCentresOut].filter((name) => !ordered.has(name))) {
-    dataCentresOut.delete(dataCentre);
-    effects.push(describeDataCentre(dataCentre, 'in'));
-  }
-  return effects;
-};
-
 const applyObservation = (
   { endpoints }: MembershipState,
   id: EndpointId,
@@ -311,7 +302,7 @@
 ): Effects => {
   const known = state.endpoints.get(id);
   if (known === undefined || known.removedAt !== removedAt) return [];
-  return pruneEndpoint(state, known, now);
+  return pruneEndpoint(state, known, 'uncertain', now);
 };
 
 const readReports = ({ endpoints }: MembershipState, polled: readonly EndpointId[]): Effects =>
@@ -337,16 +328,23 @@
  * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
  * observed by this daemon, and the data centres that operators took out of service.
  *
- * @param inputs - clock, and the engines to poll
+ * @param inputs - clock, data centres that are out, and the engines to poll
  * @returns the decision logic
  */
 export const createMembershipLogic = ({
   clock,
+  dataCentres,
   listPolledEngines,
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
     toStep<MembershipState, GatewayEffect>(
-      { loaded: 'no', endpoints: new Map(), removed: new Map(), dataCentresOut: new Set() },
+      {
+        loaded: 'no',
+        endpoints: new Map(),
+        removed: new Map(),
+        gone: new Map(),
+        ...dataCentres,
+      },
       NEXT_REPORT_POLL,
     ),
   decide: (state, event) => {
@@ -358,7 +356,9 @@
           effects: applyRegistrations(state, event, now),
         };
       case 'data-centres-changed':
-        return { state, effects: applyDataCentres(state, event.changes, event.scope) };
+        return { state, effects: applyDataCentres(state, event, now) };
+      case 'data-centre-hold-due':
+        return { state, effects: endHold(state, event.dataCentre, event.heldAt) };
       case 'attempt-observed':
         return { state, effects: applyObservation(state, event.endpoint, event.observation, now) };
       case 'limit-observed':
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -16,8 +16,9 @@
 import { createResponders } from './frontend/responders.js';
 import type { Responders } from './frontend/responders.js';
 import { listCandidates, listLimits } from './membership/candidates.js';
+import { createDataCentres } from './membership/dataCentres.js';
 import { createMembershipLogic, listLeaving } from './membership/membership.js';
-import { createMovesLogic } from './moves/moves.js';
+import { createMovesLogic, createNewestMoves } from './moves/moves.js';
 import { buildCrashMessage } from './peers/crashReports.js';
 import { countDaemons, countReachableDaemons, isPrecededByPeer } from './peers/fleet.js';
 import { createPeersLogic } from './peers/peers.js';
@@ -199,7 +200,7 @@
       checkContent: (content) => checkContent(states.quarantine.evidence, content, clock.now()),
       hashContent,
     }),
-    quarantine: createQuarantineLogic(clock),
+    quarantine: createQuarantineLogic({ clock, random }),
     peers: createPeersLogic({
       clock,
       random,
@@ -223,16 +224,17 @@
       buildCrashMessage: (scope) =>
         buildCrashMessage(states.quarantine.evidence, scope, clock.now()),
     }),
-    configuration: createConfigurationLogic(),
+    configuration: createConfigurationLogic({ current: null }),
     membership: createMembershipLogic({
       clock,
+      dataCentres: createDataCentres(),
       listPolledEngines: () =>
         isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listSingleRunEndpoints(states.requests)
           : [],
     }),
-    moves: createMovesLogic(),
-    feeds: createFeedsLogic({ clock, getPacingInputs }),
+    moves: createMovesLogic(clock, createNewestMoves()),
+    feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
     frontend: createGateLogic({
       clock,
       getGraceMs: () => live.current.graceMs,
