--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -33,18 +33,22 @@
     case 'configuration-read':
     case 'registrations-changed':
     case 'data-centres-changed':
+    case 'data-centre-hold-due':
     case 'attempt-observed':
     case 'limit-observed':
     case 'load-observed':
     case 'removal-due':
     case 'load-due':
     case 'save-due':
+    case 'remove-due':
+    case 'store-restored':
     case 'crash-observed':
     case 'answer-observed':
     case 'content-quarantined':
     case 'report-poll-due':
     case 'report-due':
     case 'moves-changed':
+    case 'move-hold-due':
     case 'deadline-reached':
     case 'placement-due':
     case 'hedge-due':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -3,20 +3,23 @@
   AttemptHead,
   EngineReport,
   FeedName,
+  FeedPosition,
   FeedResult,
-  MoveOrder,
+  MoveChange,
   RecordChange,
   RemovalCertainty,
+  StoreEpoch,
   TransferOrder,
   TransferResult,
 } from './types.js';
+import type { ReadScope } from './feeds/changes.js';
 import type { PeerCrashes } from './peers/crashReports.js';
 import type { PeerMessage } from './peers/types.js';
 import type { QuarantineLoad, QuarantineRecord } from './quarantine/types.js';
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
 import type { EventDetails } from '../core/events/types.js';
-import type { EndpointId } from '../core/ids.js';
+import type { DataCentreId, EndpointId } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type {
@@ -47,30 +50,40 @@
 export type ProbeResult = 'reachable' | 'refused' | 'silent';
 
 export type FeedsEvent = { readonly to: 'feeds' } & (
-  | { readonly kind: 'feed-answered'; readonly feed: FeedName; readonly result: FeedResult }
+  | {
+      readonly kind: 'feed-answered';
+      readonly feed: FeedName;
+      /** Position from which the feed was read; null for a load. */
+      readonly from: FeedPosition | null;
+      readonly result: FeedResult;
+    }
   | { readonly kind: 'feed-due'; readonly feed: FeedName }
 );
 
 export type ConfigurationEvent = { readonly to: 'configuration' } & {
   readonly kind: 'configuration-read';
   readonly configuration: ForwardingConfiguration;
+  /** Epoch of the store that returned the record. */
+  readonly epoch: StoreEpoch;
 };
 
 export type MembershipEvent = { readonly to: 'membership' } & (
   | {
       readonly kind: 'registrations-changed';
       readonly changes: readonly RecordChange[];
-      /** `all`: the changes list every current registration; `changed`: only those that changed. */
-      readonly scope: 'all' | 'changed';
+      readonly scope: ReadScope;
       readonly removals: RemovalCertainty;
     }
   | {
       readonly kind: 'data-centres-changed';
       readonly changes: readonly RecordChange[];
-      /**
-       * `all`: the changes list every data centre that is out; `changed`: only those that changed.
-       */
-      readonly scope: 'all' | 'changed';
+      readonly scope: ReadScope;
+    }
+  | {
+      /** The order for a data centre was not written again after the store was restored. */
+      readonly kind: 'data-centre-hold-due';
+      readonly dataCentre: DataCentreId;
+      readonly heldAt: Millis;
     }
   | {
       readonly kind: 'attempt-observed';
@@ -106,6 +119,10 @@
   | { readonly kind: 'answer-observed'; readonly fingerprints: readonly Fingerprint[] }
   | ({ readonly kind: 'crashes-reported' } & PeerCrashes)
   | { readonly kind: 'load-due' }
+  /** The store was restored from a copy that may lack what this daemon wrote. */
+  | { readonly kind: 'store-restored'; readonly epoch: StoreEpoch }
+  /** The end of a quarantine is to be stored again. */
+  | { readonly kind: 'remove-due'; readonly fingerprint: Fingerprint }
   | { readonly kind: 'quarantines-loaded'; readonly result: QuarantineLoad }
   /** A quarantine is to be stored, again if the first time failed. */
   | { readonly kind: 'save-due'; readonly fingerprint: Fingerprint }
@@ -118,13 +135,15 @@
   | { readonly kind: 'report-changed' }
 );
 
-export type MovesEvent = { readonly to: 'moves' } & {
-  readonly kind: 'moves-changed';
-  readonly orders: readonly MoveOrder[];
-  readonly withdrawn: readonly string[];
-  /** `all`: the event lists every current order; `changed`: only those that changed. */
-  readonly scope: 'all' | 'changed';
-};
+export type MovesEvent = { readonly to: 'moves' } & (
+  | {
+      readonly kind: 'moves-changed';
+      readonly changes: readonly MoveChange[];
+      readonly scope: ReadScope;
+    }
+  /** The order for a service was not written again after the store was restored. */
+  | { readonly kind: 'move-hold-due'; readonly service: string; readonly heldAt: Millis }
+);
 
 export type RequestsEvent = { readonly to: 'requests' } & (
   | { readonly kind: 'request-arrived'; readonly request: ForwardRequest }
@@ -221,7 +240,7 @@
   | {
       readonly kind: 'read-feed';
       readonly feed: FeedName;
-      readonly position: number;
+      readonly position: FeedPosition;
       readonly waitMs: Millis;
     }
   | {
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -62,11 +62,13 @@
       ]),
     ),
     removed: new Map(),
+    gone: new Map(),
     dataCentresOut: new Set(out),
+    dataCentresHeld: new Map(),
   },
   peers: buildPeers([REPORT]),
   requests: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map<string, number[]>() },
-  moves: { orders: new Map() },
+  moves: { orders: new Map(), held: new Map() },
 });
 
 const INPUTS = { process: 'p-1', hash: (text: string) => text.length };
