Refuse callers' heads that cannot be sent on instead of ending the gateway

Callers saw their connections close without an answer: one request with a tab or form feed in its path, with a header without a name or with a space in the name of a header ended the whole daemon.

Cause: the parser of node:http accepts these heads, but its client throws for them (ERR_UNESCAPED_CHARACTERS, ERR_INVALID_HTTP_TOKEN). The exception left the adapter of the endpoints and reached the fault handler, which ends the process.

The front end now checks the target and the header names by the syntax that the client demands, answers 400 and closes the connection, so nothing that cannot be sent reaches a placement.

--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -10,6 +10,7 @@
 import type { Clock, Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
+import { hasValidNames, isValidTarget } from '../headSyntax.js';
 import type { HeadCodec } from '../types.js';
 
 export interface CallerServerOptions {
@@ -77,6 +78,11 @@
 
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
+const INVALID_HEAD = createFailure(
+  'not-run',
+  'bad-request',
+  'the path or the name of a header has invalid characters',
+);
 const BODY_TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
 const BUFFERS_FULL = createFailure(
   'not-run',
@@ -108,6 +114,13 @@
     const key = nextKey;
     nextKey += 1;
     responders.open(key, head.id, response);
+    if (!isValidTarget(head.path) || !hasValidNames(incoming.rawHeaders)) {
+      responders.reportUnreadable(new Error(INVALID_HEAD.message));
+      // The two ends may disagree on where such a request ends.
+      response.shouldKeepAlive = false;
+      responders.refuse(key, INVALID_HEAD);
+      return;
+    }
     const result = await readBody(incoming, buffers);
     switch (result.kind) {
       case 'broken':
