Take an answer that cannot be sent on for a failed attempt

Callers saw their connections close without an answer, and so did all other callers of the daemon: a worker's answer with status 042 or 000, or with a header without a name, ended the process. A status of 101 without an upgrade was sent on as the answer.

Cause: the parser of node:http accepts any three digits as a status and an empty header name; writeHead throws for them (ERR_HTTP_INVALID_STATUS_CODE, ERR_INVALID_HTTP_TOKEN), and the exception reached the fault handler. A worker that answers so to each daemon ended one after the other.

Evidence: the tests of these answers in platform/oddAnswers.test.ts failed before on both kinds of route, with no answer and a daemon-fault event. The heads that are cut at eleven points by FIN and by RST, the odd lengths and the bodies of 204 and 304 passed before and are kept.

The client of the endpoints now checks the status and the header names before it posts the head, and ends the attempt as garbled, which may have run; the caller gets 502 without a signature.

--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -5,6 +5,7 @@
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
 import type { AttemptFailure, AttemptOrder, ProbeResult, RequestsEvent } from '../events.js';
+import { hasValidNames } from '../headSyntax.js';
 import type { HeadCodec } from '../types.js';
 
 /** Sends attempts to endpoints, each on its own connection. */
@@ -20,6 +21,18 @@
 const toAttemptId = (key: number, attempt: number): string =>
   `${key.toString()}/${attempt.toString()}`;
 
+/** Status of the first final answer; lower ones announce another answer. */
+const MIN_FINAL_STATUS = 200;
+
+/**
+ * Finds the reason why the head of an answer cannot be sent on, or null. The parser of node:http
+ * accepts any three digits as a status, and header names that its server throws for.
+ */
+const findHeadFault = ({ rawHeaders, statusCode = 0 }: IncomingMessage): string | null => {
+  if (statusCode < MIN_FINAL_STATUS) return `the answer has status ${statusCode.toString()}`;
+  return hasValidNames(rawHeaders) ? null : 'the answer has a header with an invalid name';
+};
+
 const isParseError = (error: Error): boolean =>
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
 
@@ -121,6 +134,11 @@
     });
     outgoing.on('response', (incoming) => {
       answer = incoming;
+      const fault = findHeadFault(incoming);
+      if (fault !== null) {
+        endGarbled(fault);
+        return;
+      }
       const head = codec.decodeAnswer(incoming.statusCode ?? 0, incoming.rawHeaders);
       if (phase === 'ended') return;
       post({ ...eventBase, kind: 'answer-started', head });
