Reset the connection of an answer that ends with it when it is broken off

Callers saw a broken stream as a whole one: when a worker's answer has neither length nor chunks, or the caller speaks HTTP/1.0, the answer ends with its connection, and the daemon broke it off with an orderly close. It did so after a reset worker, an event that ended early, the deadline, and at the end of its grace period.

Cause: response.destroy() closes the connection with FIN, which for this framing is the end of the answer.

Such an answer is now reset, wherever it is broken off. The responders keep the answers of which bytes are still to be sent, so that the end of the daemon resets them, too.

--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -23,6 +23,8 @@
   /** Closes the connection without completing the answer. */
   readonly breakAnswer: (key: number) => void;
   readonly refuseAll: (failure: Failure) => void;
+  /** Breaks the answers that would look complete when their connections are closed. */
+  readonly breakUnframed: () => void;
   /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
   readonly reportUnreadable: (error: Error) => void;
@@ -37,6 +39,16 @@
   response.removeHeader('Transfer-Encoding');
 };
 
+/**
+ * Closes the connection of an answer that has begun and is not complete. An answer that ends with
+ * its connection, as all streams to callers of HTTP/1.0 do, looks complete unless the connection is
+ * reset.
+ */
+const closeUnfinished = (response: ServerResponse): void => {
+  if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
+  response.destroy();
+};
+
 interface OpenAnswer {
   readonly requestId: string;
   readonly response: ServerResponse;
@@ -50,8 +62,19 @@
  */
 export const createResponders = (onUnreadable: (error: Error) => void): Responders => {
   const open = new Map<number, OpenAnswer>();
+  /** Answers that end with their connections, and of which not all bytes were sent. */
+  const unframed = new Set<ServerResponse>();
   let phase: 'serving' | 'draining' = 'serving';
 
+  const trackUnframed = (response: ServerResponse): void => {
+    unframed.add(response);
+    const remove = (): void => {
+      unframed.delete(response);
+    };
+    response.once('finish', remove);
+    response.once('close', remove);
+  };
+
   const removeAnswer = (key: number): OpenAnswer | undefined => {
     const answer = open.get(key);
     open.delete(key);
@@ -69,7 +92,10 @@
     const isFramed = hasBody && head.framing === 'framed';
     const length = isFramed ? ['Content-Length', body.length.toString()] : [];
     response.sendDate = false;
-    if (hasBody && !isFramed) clearFraming(response);
+    if (hasBody && !isFramed) {
+      clearFraming(response);
+      trackUnframed(response);
+    }
     response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
   };
@@ -79,7 +105,7 @@
     if (answer === undefined) return;
     const { response, requestId } = answer;
     if (response.headersSent) {
-      response.destroy();
+      closeUnfinished(response);
       return;
     }
     const problem = toProblem(failure, requestId);
@@ -116,6 +142,7 @@
       response.sendDate = false;
       if (head.framing === 'until-close') clearFraming(response);
       response.writeHead(head.status, buildHeaders(head.headers));
+      if (!response.chunkedEncoding) trackUnframed(response);
     },
     writeAnswer: (key, bytes) => {
       const response = open.get(key)?.response;
@@ -129,11 +156,15 @@
     sendWhole,
     refuse,
     breakAnswer: (key) => {
-      removeAnswer(key)?.response.destroy();
+      const answer = removeAnswer(key);
+      if (answer !== undefined) closeUnfinished(answer.response);
     },
     refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuse(key, failure);
     },
+    breakUnframed: () => {
+      for (const response of [...unframed]) closeUnfinished(response);
+    },
     startDrain: () => {
       phase = 'draining';
     },
