Keep a delay that is too long for a timer from firing at once

Callers of a route with a timeout above 24.8 days would get 504 after 1 ms, and a check that schedules itself with such a delay would run all the time.

Cause: setTimeout takes 31 bits and runs a longer delay after 1 ms. Deadlines and other delays come from configurations and settings.

Evidence: the new test failed before with all four delays handled in 20 ms.

The loop limits each delay to the longest that a timer can have.

--- a/packages/core/loop/constants.ts
+++ b/packages/core/loop/constants.ts
@@ -6,3 +6,6 @@
 
 /** Default queue capacity, in events. */
 export const DEFAULT_QUEUE_CAPACITY = 65_536;
+
+/** Longest delay of a timer, 24.8 days; Node.js runs a longer one after 1 ms. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
--- a/packages/core/loop/loop.test.ts
+++ b/packages/core/loop/loop.test.ts
@@ -54,3 +54,19 @@
   t.is(faults.length, 1);
   t.deepEqual(handled, [2]);
 });
+
+// Guards against a long delay that overflows its timer and fires at once: a request of a route with
+// a very long timeout ended as if its deadline had passed.
+test('a delay that is too long for a timer does not fire at once', async (t) => {
+  const handled: number[] = [];
+  const loop = createItemLoop(handled, 4);
+  for (const delay of [2 ** 31, Number.MAX_SAFE_INTEGER, 1e308, Infinity]) {
+    loop.schedule(delay, { queueClass: 'control', id: delay });
+  }
+  const first = new Promise<void>((resolve) => {
+    setTimeout(resolve, 20);
+  });
+  await first;
+  loop.stop();
+  t.deepEqual(handled, []);
+});
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -1,4 +1,4 @@
-import { MAX_EVENTS_PER_BATCH, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
+import { MAX_EVENTS_PER_BATCH, MAX_TIMER_MS, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
 import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
 import { assertNever } from '../assertNever.js';
 import type { Millis } from '../clock.js';
@@ -85,7 +85,7 @@
         timers.delete(handle);
         post(event);
       },
-      Math.max(0, delay),
+      Math.min(Math.max(0, delay), MAX_TIMER_MS),
     );
     timers.add(handle);
     return {
