End one request, not the daemon, on an unexpected error of an adapter

All callers of a daemon lost their connections when the work for one of them failed unexpectedly: an exception while an effect was carried out ended the process, and so did a rejected promise of a reader of records, of a transfer or of a request's arrival.

Cause: the effects of requests ran without a guard, and promises of adapters had no handler for rejections.

Evidence: a rejection in packages/gateway/perform.test.ts was an unhandled one before, and the exceptions reached the caller of performEffect; in responders.test.ts the answer that failed was no longer open, so its caller waited without end.

An exception of an effect that belongs to a request now breaks that request off and cancels its attempts; a rejection counts as the failure that its adapter can return. Both are logged with their cause as effect-failed. Other exceptions are defects of the whole daemon and end it as before.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -306,6 +306,11 @@
     level: 'info',
     text: 'A daemon applied changed settings.',
   },
+  'effect-failed': {
+    number: 4030,
+    level: 'error',
+    text: 'An adapter failed unexpectedly; the request or the read ends, and the daemon goes on.',
+  },
   'caller-unreadable': {
     number: 2011,
     level: 'info',
--- /dev/null
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava';
+import { createCallerServer } from './callerServer.js';
+import { createResponders } from './responders.js';
+import { CODEC } from '../endpoints/endpointClient.fixture.js';
+
+const HOST = '127.0.0.1';
+
+/** Below the ports of outgoing connections; no other test listens on it. */
+const PORT = 14_211;
+
+// Guards against an unexpected error of one request that ends the process as an unhandled rejection,
+// or leaves its caller without an end.
+test('an unexpected error ends one request and is reported', async (t) => {
+  const faults: unknown[] = [];
+  const callers = createCallerServer({
+    // Decodes no caller: it throws.
+    codec: CODEC,
+    clock: { now: () => 0 },
+    responders: createResponders(() => undefined),
+    postArrival: () => 'queued',
+    postDisconnect: () => undefined,
+    onFault: (error) => {
+      faults.push(error);
+    },
+  });
+  await callers.listen({ host: HOST, port: PORT });
+  t.teardown(() => {
+    callers.closeIdle();
+    callers.close();
+  });
+  const url = `http://${HOST}:${PORT.toString()}/`;
+  await t.throwsAsync(fetch(url));
+  await t.throwsAsync(fetch(url));
+  t.is(faults.length, 2);
+});
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -19,6 +19,8 @@
   readonly responders: Responders;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
+  /** Receives an unexpected error, which ends one request. */
+  readonly onFault: (error: unknown) => void;
 }
 
 export interface CallerServer {
@@ -145,7 +147,10 @@
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
     (incoming, response) => {
-      void accept(incoming, response);
+      accept(incoming, response).catch((error: unknown) => {
+        options.onFault(error);
+        response.destroy();
+      });
     },
   );
   server.on('clientError', (error, socket) => {
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -85,9 +85,8 @@
     phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
 
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
-    const answer = removeAnswer(key);
-    if (answer === undefined) return;
-    const { response } = answer;
+    const response = open.get(key)?.response;
+    if (response === undefined) return;
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
     const isFramed = hasBody && head.framing === 'framed';
     const length = isFramed ? ['Content-Length', body.length.toString()] : [];
@@ -98,13 +97,16 @@
     }
     response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
+    // An answer that could not be sent stays open, so that it can be broken off.
+    open.delete(key);
   };
 
   const refuse = (key: number, failure: Failure): void => {
-    const answer = removeAnswer(key);
+    const answer = open.get(key);
     if (answer === undefined) return;
     const { response, requestId } = answer;
     if (response.headersSent) {
+      open.delete(key);
       closeUnfinished(response);
       return;
     }
@@ -126,6 +128,7 @@
       ]),
     );
     response.end(body);
+    open.delete(key);
   };
 
   return {
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -1,11 +1,17 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
-import type { GatewayEffect, GatewayEvent } from './events.js';
+import type { GatewayEffect, GatewayEvent, ProbeResult } from './events.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import type { Responders } from './frontend/responders.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { STORE_RETRY_MS } from './quarantine/constants.js';
-import type { QuarantineRecord, QuarantineStore } from './quarantine/types.js';
-import type { EngineControl, FeedName, FeedReader, FeedResult } from './types.js';
+import type { QuarantineLoad, QuarantineRecord, QuarantineStore } from './quarantine/types.js';
+import type {
+  EngineControl,
+  EngineReport,
+  FeedReader,
+  FeedResult,
+  TransferResult,
+} from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
 import type { Loop } from '../core/loop/types.js';
@@ -33,74 +39,178 @@
   'the gateway daemon lost the state of the request',
 );
 
+const toMessage = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
+
+const reportFault = (kind: GatewayEffect['kind'], error: unknown, events: EventLog): void => {
+  const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  events.record('effect-failed', { data: { effect: kind, error: text } });
+};
+
+/**
+ * Waits for the result of an effect. Adapters return failures as results; a rejection is a defect,
+ * which is reported and counts as a failure, since it would otherwise end the process.
+ */
+const handleResult = <Value>(
+  kind: GatewayEffect['kind'],
+  pending: Promise<Value>,
+  { events }: GatewayAdapters,
+  toFailure: (message: string) => Value,
+  handle: (result: Value) => void,
+): void => {
+  pending
+    .catch((error: unknown) => {
+      reportFault(kind, error, events);
+      return toFailure(toMessage(error));
+    })
+    .then(handle)
+    .catch((error: unknown) => {
+      reportFault(kind, error, events);
+    });
+};
+
 const postFeedResult = (
-  feed: FeedName,
+  { feed, kind }: Extract<GatewayEffect, { kind: 'load-feed' | 'read-feed' }>,
   pending: Promise<FeedResult>,
   adapters: GatewayAdapters,
 ): void => {
-  void pending.then((result) => {
-    adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
-  });
+  handleResult<FeedResult>(
+    kind,
+    pending,
+    adapters,
+    (message) => ({ kind: 'failed', message }),
+    (result) => {
+      adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, result });
+    },
+  );
 };
 
 const readReport = (
-  { address, endpoint }: Extract<GatewayEffect, { kind: 'read-report' }>,
-  { engines, loop }: GatewayAdapters,
+  { address, endpoint, kind }: Extract<GatewayEffect, { kind: 'read-report' }>,
+  adapters: GatewayAdapters,
 ): void => {
-  void engines.readReport(address).then((report) => {
-    if (report === null) return;
-    loop().post({ to: 'membership', kind: 'report-read', endpoint, report });
-  });
+  handleResult<EngineReport | null>(
+    kind,
+    adapters.engines.readReport(address),
+    adapters,
+    () => null,
+    (report) => {
+      if (report === null) return;
+      adapters.loop().post({ to: 'membership', kind: 'report-read', endpoint, report });
+    },
+  );
 };
 
 const startTransfer = (
-  { attempt, key, order }: Extract<GatewayEffect, { kind: 'start-transfer' }>,
-  { engines, loop }: GatewayAdapters,
+  { attempt, key, kind, order }: Extract<GatewayEffect, { kind: 'start-transfer' }>,
+  adapters: GatewayAdapters,
 ): void => {
-  void engines.transfer(order).then((result) => {
-    loop().post({ to: 'requests', kind: 'transfer-ended', key, attempt, result });
-  });
+  handleResult<TransferResult>(
+    kind,
+    adapters.engines.transfer(order),
+    adapters,
+    (message) => ({ kind: 'failed', message }),
+    (result) => {
+      adapters.loop().post({ to: 'requests', kind: 'transfer-ended', key, attempt, result });
+    },
+  );
 };
 
-const storeQuarantine = (
-  record: QuarantineRecord,
-  { loop, quarantines }: GatewayAdapters,
+/** Nothing waits for the result: a copy that is not released expires. */
+const releaseCopy = (
+  { address, handle, kind }: Extract<GatewayEffect, { kind: 'release-copy' }>,
+  adapters: GatewayAdapters,
 ): void => {
+  handleResult<null>(
+    kind,
+    adapters.engines.releaseCopy(address, handle).then(() => null),
+    adapters,
+    () => null,
+    () => undefined,
+  );
+};
+
+const loadQuarantines = (adapters: GatewayAdapters): void => {
+  handleResult<QuarantineLoad>(
+    'load-quarantines',
+    adapters.quarantines.load(),
+    adapters,
+    (message) => ({ kind: 'failed', message }),
+    (result) => {
+      adapters.loop().post({ to: 'quarantine', kind: 'quarantines-loaded', result });
+    },
+  );
+};
+
+const storeQuarantine = (record: QuarantineRecord, adapters: GatewayAdapters): void => {
   const { fingerprint } = record;
-  void quarantines.save(record).then((result) => {
-    if (result === 'saved') return;
-    loop().schedule(STORE_RETRY_MS, { to: 'quarantine', kind: 'save-due', fingerprint });
-  });
+  handleResult<'saved' | 'failed'>(
+    'save-quarantine',
+    adapters.quarantines.save(record),
+    adapters,
+    () => 'failed',
+    (result) => {
+      if (result === 'saved') return;
+      const event = { to: 'quarantine', kind: 'save-due', fingerprint } as const;
+      adapters.loop().schedule(STORE_RETRY_MS, event);
+    },
+  );
+};
+
+/** Nothing waits for the result: a record that is not removed expires. */
+const removeQuarantine = (fingerprint: string, adapters: GatewayAdapters): void => {
+  handleResult<'saved' | 'failed'>(
+    'remove-quarantine',
+    adapters.quarantines.remove(fingerprint),
+    adapters,
+    () => 'failed',
+    () => undefined,
+  );
 };
 
 const probeEndpoint = (
-  { address, attempt, key }: Extract<GatewayEffect, { kind: 'probe-endpoint' }>,
-  { endpoints, loop }: GatewayAdapters,
+  { address, attempt, key, kind }: Extract<GatewayEffect, { kind: 'probe-endpoint' }>,
+  adapters: GatewayAdapters,
 ): void => {
-  void endpoints.probe(address).then((result) => {
-    loop().post({ to: 'requests', kind: 'endpoint-probed', key, attempt, result });
-  });
+  handleResult<ProbeResult>(
+    kind,
+    adapters.endpoints.probe(address),
+    adapters,
+    () => 'silent',
+    (result) => {
+      adapters.loop().post({ to: 'requests', kind: 'endpoint-probed', key, attempt, result });
+    },
+  );
+};
+
+const getRequestKey = (effect: GatewayEffect): number | null => {
+  if (effect.kind === 'open-attempt') return effect.order.key;
+  return 'key' in effect ? effect.key : null;
 };
 
 /**
- * Performs one effect.
+ * Performs one effect. An unexpected error of an effect for one request ends that request only; any
+ * other one is thrown and ends the daemon.
  *
  * @param effect - effect of a decision
  * @param adapters - adapters of the daemon
+ * @throws the error of an effect that belongs to no request
  */
 export const performEffect = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
-  const {
-    callers,
-    endpoints,
-    engines,
-    events,
-    feeds,
-    loop,
-    metrics,
-    peers,
-    quarantines,
-    responders,
-  } = adapters;
+  try {
+    performUnguarded(effect, adapters);
+  } catch (error) {
+    const key = getRequestKey(effect);
+    if (key === null) throw error;
+    reportFault(effect.kind, error, adapters.events);
+    // Without a complete answer the caller learns that its request may have run.
+    adapters.responders.breakAnswer(key);
+    adapters.loop().post({ to: 'requests', kind: 'caller-disconnected', key });
+  }
+};
+
+const performUnguarded = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
+  const { callers, endpoints, events, feeds, loop, metrics, peers, responders } = adapters;
   switch (effect.kind) {
     case 'post':
       loop().post(effect.event);
@@ -118,14 +228,10 @@
       metrics.recordLatency(effect.name, effect.route, effect.duration);
       return;
     case 'load-feed':
-      postFeedResult(effect.feed, feeds.load(effect.feed), adapters);
+      postFeedResult(effect, feeds.load(effect.feed), adapters);
       return;
     case 'read-feed':
-      postFeedResult(
-        effect.feed,
-        feeds.read(effect.feed, effect.position, effect.waitMs),
-        adapters,
-      );
+      postFeedResult(effect, feeds.read(effect.feed, effect.position, effect.waitMs), adapters);
       return;
     case 'send-peers':
       peers.send(effect.hosts, effect.message);
@@ -140,19 +246,16 @@
       startTransfer(effect, adapters);
       return;
     case 'release-copy':
-      void engines.releaseCopy(effect.address, effect.handle);
+      releaseCopy(effect, adapters);
       return;
     case 'load-quarantines':
-      void quarantines.load().then((result) => {
-        loop().post({ to: 'quarantine', kind: 'quarantines-loaded', result });
-      });
+      loadQuarantines(adapters);
       return;
     case 'save-quarantine':
       storeQuarantine(effect.record, adapters);
       return;
     case 'remove-quarantine':
-      // Nothing waits for the result: a record that is not removed expires.
-      void quarantines.remove(effect.fingerprint);
+      removeQuarantine(effect.fingerprint, adapters);
       return;
     case 'probe-endpoint':
       probeEndpoint(effect, adapters);
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -139,6 +139,11 @@
       cradle.responders.remove(key);
       cradle.daemon.loop.post({ to: 'requests', kind: 'caller-disconnected', key });
     },
+    onFault: (error) => {
+      cradle.events.record('effect-failed', {
+        data: { effect: 'accept-request', error: String(error) },
+      });
+    },
   });
 
 const buildEndpoints = (cradle: GatewayCradle): EndpointClient =>
