--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -3,6 +3,7 @@
 import type { ExecutionContext } from 'ava';
 import { createCallerServer } from './callerServer.js';
 import { createConnectionTracker } from './connections.js';
+import type { ConnectionTracker } from './connections.js';
 import type { GateState } from './gate.js';
 import { createResponders } from './responders.js';
 import type { Responders } from './responders.js';
@@ -155,6 +156,20 @@
 export const formatRequest = (id: string, body = '', bodyBytes = body.length): string =>
   `POST /${id} HTTP/1.1\r\nHost: h\r\nContent-Length: ${bodyBytes.toString()}\r\n\r\n${body}`;
 
+/**
+ * Creates a tracker of connections whose records nobody reads.
+ *
+ * @returns the tracker
+ */
+export const createTestConnections = (): ConnectionTracker =>
+  createConnectionTracker({
+    clock: createVirtualClock(0),
+    getConfigurationVersion: () => 1,
+    getGate: () => ({ phase: 'accepting' }),
+    record: () => undefined,
+    addCount: () => undefined,
+  });
+
 /**
  * Starts a caller server on a free port.
  *
@@ -198,6 +213,9 @@
     postDisconnect: (key) => {
       responders.remove(key);
     },
+    onFault: (error) => {
+      throw error;
+    },
   });
   const adapters = {
     callers,
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -14,6 +14,7 @@
 import type { Clock, Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
+import { hasValidNames, isValidTarget } from '../headSyntax.js';
 import type { HeadCodec } from '../types.js';
 
 export interface CallerServerOptions {
@@ -25,6 +26,8 @@
   readonly headerCheckMs?: Millis;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
+  /** Receives an unexpected error, which ends one request. */
+  readonly onFault: (error: unknown) => void;
 }
 
 export interface CallerServer {
@@ -84,6 +87,11 @@
 
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
+const INVALID_HEAD = createFailure(
+  'not-run',
+  'bad-request',
+  'the path or the name of a header has invalid characters',
+);
 const BODY_TOO_LARGE = createFailure('not-run', 'too-large', 'the body is too large');
 const BUFFERS_FULL = createFailure(
   'not-run',
@@ -132,6 +140,13 @@
     responders.open(key, head.id, response);
     connections.trackRequest(key, head.id, incoming, response);
     idleConnections.recordStatedTimeout(incoming.socket, server.keepAliveTimeout);
+    if (!isValidTarget(head.path) || !hasValidNames(incoming.rawHeaders)) {
+      responders.reportUnreadable(new Error(INVALID_HEAD.message));
+      // The two ends may disagree on where such a request ends.
+      response.shouldKeepAlive = false;
+      responders.refuse(key, INVALID_HEAD);
+      return;
+    }
     const result = await readBody(incoming, buffers);
     switch (result.kind) {
       case 'broken':
@@ -161,7 +176,10 @@
       connectionsCheckingInterval: options.headerCheckMs,
     },
     (incoming, response) => {
-      void accept(incoming, response);
+      accept(incoming, response).catch((error: unknown) => {
+        options.onFault(error);
+        response.destroy();
+      });
     },
   );
   server.on('connection', connections.trackConnection);
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -28,6 +28,8 @@
   readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
   /** Refuses all requests after the loss of their state. */
   readonly refuseAll: (failure: Failure) => void;
+  /** Breaks the answers that would look complete when their connections are closed. */
+  readonly breakUnframed: () => void;
   /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
   readonly reportUnreadable: (error: Error) => void;
@@ -42,6 +44,16 @@
   response.removeHeader('Transfer-Encoding');
 };
 
+/**
+ * Closes the connection of an answer that has begun and is not complete. An answer that ends with
+ * its connection, as all streams to callers of HTTP/1.0 do, looks complete unless the connection is
+ * reset.
+ */
+const closeUnfinished = (response: ServerResponse): void => {
+  if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
+  response.destroy();
+};
+
 interface OpenAnswer {
   readonly requestId: string;
   readonly response: ServerResponse;
@@ -59,8 +71,19 @@
   onUnreadable: (error: Error) => void,
 ): Responders => {
   const open = new Map<number, OpenAnswer>();
+  /** Answers that end with their connections, and of which not all bytes were sent. */
+  const unframed = new Set<ServerResponse>();
   let phase: 'serving' | 'draining' = 'serving';
 
+  const trackUnframed = (response: ServerResponse): void => {
+    unframed.add(response);
+    const remove = (): void => {
+      unframed.delete(response);
+    };
+    response.once('finish', remove);
+    response.once('close', remove);
+  };
+
   const removeAnswer = (key: number): OpenAnswer | undefined => {
     const answer = open.get(key);
     open.delete(key);
@@ -71,26 +94,31 @@
     phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
 
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
-    const answer = removeAnswer(key);
-    if (answer === undefined) return;
+    const response = open.get(key)?.response;
+    if (response === undefined) return;
     connections.recordWrite(key);
-    const { response } = answer;
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
     const isFramed = hasBody && head.framing === 'framed';
     const length = isFramed ? ['Content-Length', body.length.toString()] : [];
     response.sendDate = false;
-    if (hasBody && !isFramed) clearFraming(response);
+    if (hasBody && !isFramed) {
+      clearFraming(response);
+      trackUnframed(response);
+    }
     response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
+    // An answer that could not be sent stays open, so that it can be broken off.
+    open.delete(key);
   };
 
   const refuseWith = (key: number, failure: Failure, cause: ConnectionEndCause): void => {
-    const answer = removeAnswer(key);
+    const answer = open.get(key);
     if (answer === undefined) return;
     const { response, requestId } = answer;
     if (response.headersSent) {
+      open.delete(key);
       connections.recordCause(key, cause);
-      response.destroy();
+      closeUnfinished(response);
       return;
     }
     connections.recordWrite(key);
@@ -112,13 +140,14 @@
       ]),
     );
     response.end(body);
+    open.delete(key);
   };
 
   const breakAnswer = (key: number, cause: ConnectionEndCause): void => {
     const answer = removeAnswer(key);
     if (answer === undefined) return;
     connections.recordCause(key, cause);
-    answer.response.destroy();
+    closeUnfinished(answer.response);
   };
 
   return {
@@ -137,6 +166,7 @@
       response.sendDate = false;
       if (head.framing === 'until-close') clearFraming(response);
       response.writeHead(head.status, buildHeaders(head.headers));
+      if (!response.chunkedEncoding) trackUnframed(response);
     },
     writeAnswer: (key, bytes) => {
       const response = open.get(key)?.response;
@@ -156,6 +186,9 @@
     refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
     },
+    breakUnframed: () => {
+      for (const response of [...unframed]) closeUnfinished(response);
+    },
     startDrain: () => {
       phase = 'draining';
     },
