Count a negative age in a peer's message as zero

Callers would get 429 for as long as the daemons run: a message with a negative age, from a daemon whose clock was set back or from another writer, named an instant that is still to come. The limit of an endpoint in it had no end and hid each later statement, and a quarantine did not expire.

Cause: the instant is the receiver's time less the age, and only the ages of members were kept from being negative.

Evidence: 'a negative age in a message counts as zero' failed before, with the ages as sent. The odd datagrams of peerSocket.test.ts (no JSON, 65,507 bytes of brackets, wrong types) passed before and are kept.

--- a/packages/gateway/peers/peerCodec.ts
+++ b/packages/gateway/peers/peerCodec.ts
@@ -1,4 +1,5 @@
 import type { CrashReportRow, GroupSummary, PeerMessage, PeerReport } from './types.js';
+import type { Millis } from '../../core/clock.js';
 import { parseJsonBytes } from '../../core/jsonText.js';
 
 const isLoadRow = (value: unknown): boolean =>
@@ -83,11 +84,16 @@
   isListOf(fields.transfers, isTransferRow) &&
   hasContents(fields);
 
+/** A clock that was set back makes ages negative; they would name instants still to come. */
+const toAge = (ageMs: Millis): Millis => Math.max(0, ageMs);
+
 const toContents = ({ crashes, limits = [], survivals = [] }: ReceivedContents) => ({
-  limits,
-  survivals,
+  limits: limits.map(([endpoint, requestsPerSecond, ageMs, requests]) => {
+    return [endpoint, requestsPerSecond, toAge(ageMs), requests] as const;
+  }),
+  survivals: survivals.map(([fingerprint, ageMs]) => [fingerprint, toAge(ageMs)] as const),
   crashes: crashes.map(([whole, endpoint, progress = 'waiting', ageMs = 0, parts = []]) => {
-    return [whole, endpoint, progress, ageMs, parts] as const;
+    return [whole, endpoint, progress, toAge(ageMs), parts] as const;
   }),
 });
 
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -270,3 +270,20 @@
   harness.post({ to: 'peers', kind: 'report-due' });
   t.is(countDaemons(harness.getState()), 1);
 });
+
+// Guards against an age that is negative, as after a step of a clock: it names an instant that is
+// still to come, so that a limit or a quarantine had no end and hid all later ones.
+test('a negative age in a message counts as zero', (t) => {
+  const bytes = Buffer.from(
+    JSON.stringify({
+      ...MESSAGE,
+      limits: [['e-1', 5, -1e9, 1]],
+      survivals: [['f-1', -1e9]],
+      crashes: [['f-2', 'e-1', 'waiting', -1e9, []]],
+    }),
+  );
+  const message = decodePeerMessage(bytes);
+  t.deepEqual(message?.limits, [['e-1', 5, 0, 1]]);
+  t.deepEqual(message?.survivals, [['f-1', 0]]);
+  t.deepEqual(message?.crashes, [['f-2', 'e-1', 'waiting', 0, []]]);
+});
