--- a/packages/gateway/peers/peerCodec.ts
+++ b/packages/gateway/peers/peerCodec.ts
@@ -2,22 +2,26 @@
 import type { Millis } from '../../core/clock.js';
 import { parseJsonBytes } from '../../core/jsonText.js';
 
+/** Numbers beyond 2^53 - 1 would make sums of several messages overflow. */
+const isCount = (value: unknown): boolean =>
+  typeof value === 'number' && Math.abs(value) <= Number.MAX_SAFE_INTEGER;
+
 const isLoadRow = (value: unknown): boolean =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
-  Number.isFinite(value[1]) &&
-  Number.isFinite(value[2]) &&
-  Number.isFinite(value[3]);
+  isCount(value[1]) &&
+  isCount(value[2]) &&
+  isCount(value[3]);
 
 const isLimitRow = (value: unknown): boolean =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
-  (value[1] === null || Number.isFinite(value[1])) &&
-  Number.isFinite(value[2]) &&
-  Number.isFinite(value[3]);
+  (value[1] === null || isCount(value[1])) &&
+  isCount(value[2]) &&
+  isCount(value[3]);
 
 const isNamedNumber = (value: unknown): boolean =>
-  Array.isArray(value) && typeof value[0] === 'string' && Number.isFinite(value[1]);
+  Array.isArray(value) && typeof value[0] === 'string' && isCount(value[1]);
 
 const isStringList = (value: unknown): boolean =>
   Array.isArray(value) && value.every((item) => typeof item === 'string');
@@ -29,7 +33,7 @@
   // A daemon of an earlier version reports neither progress nor age.
   (value.length === 2 ||
     ((value[2] === 'beginning' || value[2] === 'waiting') &&
-      Number.isFinite(value[3]) &&
+      isCount(value[3]) &&
       isStringList(value[4])));
 
 const isTransferRow = (value: unknown): boolean =>
@@ -40,7 +44,7 @@
   typeof value[0] === 'string' &&
   typeof value[1] === 'string' &&
   typeof value[2] === 'string' &&
-  Number.isFinite(value[3]);
+  isCount(value[3]);
 
 const isListOf = (value: unknown, isRow: (row: unknown) => boolean): boolean =>
   Array.isArray(value) && value.every(isRow);
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -287,3 +287,20 @@
   t.deepEqual(message?.survivals, [['f-1', 0]]);
   t.deepEqual(message?.crashes, [['f-2', 'e-1', 'waiting', 0, []]]);
 });
+
+// Guards against numbers whose sum overflows: JSON has no infinite numbers, so that the others
+// dropped each report with the sum and lost touch with its sender.
+test('a message with numbers that are too large is dropped', (t) => {
+  for (const change of [
+    { load: [['e-1', 1, 1e308, 0]] },
+    { load: [['e-1', 2 ** 53, 0, 0]] },
+    { load: [['e-1', 0, 0, -1e308]] },
+    { limits: [['e-1', 1e308, 0, 0]] },
+    { transfers: [['e-1', 1e308]] },
+    { survivals: [['f-1', 1e308]] },
+  ]) {
+    const bytes = Buffer.from(JSON.stringify({ ...MESSAGE, ...change }));
+    t.is(decodePeerMessage(bytes), null, JSON.stringify(change));
+  }
+  t.deepEqual(decodePeerMessage(Buffer.from(JSON.stringify(MESSAGE))), MESSAGE);
+});
