Take an answer without framing whose connection was reset for a broken one

Callers of a service behind the entry daemon got a short body as a whole 200: the service's answer had neither length nor chunks, and its connection was reset on the way.

Cause: the endpoint daemon's HTTP client, undici, takes ECONNRESET for the end of such an answer, as some systems report it after a full body.

Evidence: three of the cases of packages/endpoint/engine/oddAnswers.test.ts failed before with the short body as the answer. The other cuts, by FIN and by RST, and the odd statuses passed before and are kept.

The connector of the client now gives a reset another code, so that undici fails the answer; one that ends with FIN is complete as before.

--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from 'undici';
+import { Agent, buildConnector, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
@@ -57,6 +57,25 @@
   'ENETUNREACH',
 ]);
 
+/** Code of a reset connection, by a name that undici does not treat as the end of an answer. */
+const RESET_CODE = 'ERR_CONNECTION_RESET';
+
+/**
+ * Creates a connector on whose connections a reset is an error. undici takes ECONNRESET for the end
+ * of an answer that has neither length nor chunks, so that one that was broken off looks complete.
+ */
+const createConnector = (): buildConnector.connector => {
+  const connect = buildConnector({});
+  return (options, callback) => {
+    connect(options, (...result) => {
+      result[1]?.prependListener('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNRESET') error.code = RESET_CODE;
+      });
+      callback(...result);
+    });
+  };
+};
+
 const getErrorCode = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
@@ -128,7 +147,12 @@
 ): EngineClient => {
   // Each request has a connection of its own (`pipelining: 0`). On a kept one, an answer that the
   // endpoint writes again would be taken for that to the next request.
-  const agent = new Agent({ connections: ENGINE_CONNECTIONS, pipelining: 0, bodyTimeout: 0 });
+  const agent = new Agent({
+    connect: createConnector(),
+    connections: ENGINE_CONNECTIONS,
+    pipelining: 0,
+    bodyTimeout: 0,
+  });
   const running = new Map<GenerationId, RunningGeneration>();
 
   const fetchJson = async (path: string): Promise<unknown> => {
