--- a/packages/entry/frontend/responders.ts
+++ b/packages/entry/frontend/responders.ts
@@ -1,8 +1,11 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http';
 import type { FastifyReply } from 'fastify';
+import { Result } from 'ts-results-es';
 import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import { buildWholeAnswer, formatAnswerFields } from './wholeAnswer.js';
 import type { AnswerIdentity } from './wholeAnswer.js';
 import type { RequestId } from '../../core/ids.js';
+import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { toProblem } from '../../wire/problem.js';
 import { formatEventId } from '../../wire/resumeTicket.js';
@@ -78,6 +81,27 @@
   sendJson(responder, requestId, problem.status, 'application/problem+json', problem);
 };
 
+const MIN_STATUS = 200;
+const MAX_STATUS = 999;
+
+/** Reports whether an answer can be sent; writing the head of any other one throws. */
+const isSendable = ({ headers, status }: ServiceAnswer): boolean =>
+  Number.isInteger(status) &&
+  status >= MIN_STATUS &&
+  status <= MAX_STATUS &&
+  headers.every(({ name, value }) =>
+    Result.wrap(() => {
+      validateHeaderName(name);
+      validateHeaderValue(name, value);
+    }).isOk(),
+  );
+
+const INVALID_ANSWER = createFailure(
+  'may-have-run',
+  'endpoint-failed',
+  'the answer of the endpoint has an invalid status or header',
+);
+
 /**
  * Creates the table of open connections. Only effects of the loop write to a connection.
  *
@@ -156,6 +180,10 @@
       raw.end('data: [DONE]\n\n');
     },
     sendAnswer: (requestId, answer) => {
+      if (!isSendable(answer)) {
+        failRequest(requestId, INVALID_ANSWER);
+        return;
+      }
       const responder = removeResponder(requestId);
       if (responder === undefined) return;
       const headers = answer.headers.map(({ name, value }) => [name, value] as const);
