Fail a call to an endpoint daemon whose URL is none

Callers of an entry daemon lost their connections and the daemon ended: one heartbeat with a URL that is none led to an unhandled rejection as soon as a call, a generation, a fence or a cancel went to its sender.

Cause: the connection was created outside of the handling of errors, and new URL throws for such a text.

Evidence: 'a call to an endpoint daemon without a valid URL fails as not-run' failed before with unhandled rejections (Invalid URL).

The failure to create a connection is now a result: nothing was sent, so a call fails as not-run, a link as unsent and a fence as unreachable.

--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -300,3 +300,21 @@
     answer: { watermark: 3, records, leaseMs: 9 },
   });
 });
+
+// Guards against a heartbeat whose URL is none: the call of the endpoint daemon there was an
+// unhandled rejection, which ended the entry daemon.
+test('a call to an endpoint daemon without a valid URL fails as not-run', async (t) => {
+  const { client, completed } = startEntrySide(t);
+  for (const url of ['', 'nonsense', 'http://[', 'http://a b/', '\0', 'http://127.0.0.1:99999']) {
+    client.callEndpoint(buildCall(url, SMALL_BODY));
+    const failure = { verdict: 'not-run', code: 'endpoint-lost' };
+    t.like(await completed.take(), { kind: 'call-failed', failure }, url);
+    client.openGeneration(buildGeneration(url, SMALL_BODY));
+    t.like(await completed.take(), { kind: 'link-lost', sent: 'unsent' }, url);
+    const nonce = createId();
+    client.fenceNonce({ url, requestId: createId(), nonce, incarnation: INCARNATION });
+    const result = { kind: 'unreachable' };
+    t.like(await completed.take(), { kind: 'fence-answered', nonce, result }, url);
+    client.cancelGeneration(url, createId(), INCARNATION);
+  }
+});
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -3,6 +3,7 @@
 import type { Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Http2SessionManager } from '@connectrpc/connect-node';
+import { Ok, Result } from 'ts-results-es';
 import { LINK_OPEN_TIMEOUT_MS } from './constants.js';
 import type {
   EndpointClient,
@@ -66,9 +67,7 @@
   const connections = new Map<string, Connection>();
   const links = new Map<string, AbortController>();
 
-  const connect = (url: string): EndpointRpc => {
-    const existing = connections.get(url);
-    if (existing !== undefined) return existing.client;
+  const createConnection = (url: string): EndpointRpc => {
     const manager = createPeerSession(url);
     const transport = createConnectTransport({
       baseUrl: url,
@@ -81,6 +80,13 @@
     return client;
   };
 
+  /** The URL comes from a heartbeat, so it may be none; an error proves that nothing was sent. */
+  const connect = (url: string): Result<EndpointRpc, string> => {
+    const existing = connections.get(url);
+    if (existing !== undefined) return Ok(existing.client);
+    return Result.wrap(() => createConnection(url)).mapErr(getErrorMessage);
+  };
+
   /**
    * Removes a connection whose call failed, so that the next call creates a new session manager.
    * The streams of a failing HTTP/2 session fail before the session emits its own error. A call
@@ -126,13 +132,18 @@
       post({ kind: 'generation-failed', ...key, failure: tooLarge });
       return;
     }
+    const connected = connect(open.url);
+    if (connected.isErr()) {
+      post({ kind: 'link-lost', ...key, sent: 'unsent', reason: connected.error });
+      return;
+    }
+    const client = connected.value;
     const controller = new AbortController();
     const linkId = getLinkId(generationId, link);
     links.set(linkId, controller);
     const openTimer = setTimeout(() => {
       controller.abort(new Error('the endpoint daemon did not answer'));
     }, LINK_OPEN_TIMEOUT_MS);
-    const client = connect(open.url);
     try {
       const message = create(GenerateRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -222,7 +233,13 @@
       post({ kind: 'call-failed', requestId, attempt, failure: tooLarge });
       return;
     }
-    const client = connect(call.url);
+    const connected = connect(call.url);
+    if (connected.isErr()) {
+      const failure = createFailure('not-run', 'endpoint-lost', connected.error);
+      post({ kind: 'call-failed', requestId, attempt, failure });
+      return;
+    }
+    const client = connected.value;
     try {
       const message = create(CallRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -265,7 +282,13 @@
 
   const sendFence = async (command: FenceCommand): Promise<void> => {
     const { requestId, nonce, incarnation } = command;
-    const client = connect(command.url);
+    const connected = connect(command.url);
+    if (connected.isErr()) {
+      const result: FenceAnswer = { kind: 'unreachable', reason: connected.error };
+      post({ kind: 'fence-answered', requestId, nonce, result });
+      return;
+    }
+    const client = connected.value;
     try {
       const message = create(FenceRequestSchema, { format: MESSAGE_FORMAT, nonce, incarnation });
       const timeoutMs = LINK_OPEN_TIMEOUT_MS;
@@ -290,7 +313,9 @@
       incarnation,
     });
     // If the cancel is lost, the orphan timeout of the endpoint daemon ends the generation.
-    const client = connect(url);
+    const connected = connect(url);
+    if (connected.isErr()) return;
+    const client = connected.value;
     await client.cancel(message, { timeoutMs: LINK_OPEN_TIMEOUT_MS }).catch((error: unknown) => {
       releaseConnection(url, client, error);
     });
