--- a/packages/gateway/peers/peerSocket.ts
+++ b/packages/gateway/peers/peerSocket.ts
@@ -30,8 +30,12 @@
   });
   return {
     open: () =>
-      new Promise((resolve) => {
-        socket.bind(address.port, address.host, resolve);
+      new Promise((resolve, reject) => {
+        socket.once('error', reject);
+        socket.bind(address.port, address.host, () => {
+          socket.off('error', reject);
+          resolve();
+        });
       }),
     send: (hosts, message) => {
       if (hosts.length === 0) return;
