End one request, not the entry daemon, on an unexpected error of its answer

All callers of an entry daemon lost their connections when the answer to one of them could not be written: the exception ended the process.

Cause: the effects of requests ran without a guard, as they did in the gateway.

The connection of that request is now closed and the request handled as one whose caller left; the error is logged with its cause as effect-failed.

--- a/packages/entry/frontend/responders.ts
+++ b/packages/entry/frontend/responders.ts
@@ -184,12 +184,14 @@
         failRequest(requestId, INVALID_ANSWER);
         return;
       }
-      const responder = removeResponder(requestId);
+      const responder = openResponders.get(requestId);
       if (responder === undefined) return;
       const headers = answer.headers.map(({ name, value }) => [name, value] as const);
       const { raw } = responder.reply;
       raw.writeHead(answer.status, { ...Object.fromEntries(headers), 'x-request-id': requestId });
       raw.end(answer.body);
+      // An answer that could not be sent stays open, so that its connection can be closed.
+      openResponders.delete(requestId);
     },
     failRequest,
     closeConnection: (requestId) => {
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -69,12 +69,28 @@
 };
 
 /**
- * Carries out one effect.
+ * Carries out one effect. An unexpected error of an effect for one request ends that request's
+ * connection only; any other one is thrown and ends the daemon.
  *
  * @param effect - effect of a decision
  * @param adapters - adapters of the daemon
+ * @throws the error of an effect that belongs to no request
  */
 export const performEffect = (effect: EntryEffect, adapters: EntryAdapters): void => {
+  try {
+    performUnguarded(effect, adapters);
+  } catch (error) {
+    if (!('requestId' in effect)) throw error;
+    const { kind, requestId } = effect;
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    adapters.events.record('effect-failed', { requestId, data: { effect: kind, error: text } });
+    // Without a complete answer the caller learns that its request may have run.
+    adapters.responders.closeConnection(requestId);
+    adapters.loop().post({ to: 'requests', kind: 'caller-disconnected', requestId });
+  }
+};
+
+const performUnguarded = (effect: EntryEffect, adapters: EntryAdapters): void => {
   const { loop, events, metrics, responders, tickets, endpoints, platform } = adapters;
   switch (effect.kind) {
     case 'post':
