--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -5,8 +5,8 @@
 
 const HOST = '127.0.0.1';
 
-/** Below the ports of outgoing connections; no other test listens on it. */
-const PORT = 14_211;
+/** Below the ports of outgoing connections, and of this process only. */
+const PORT = 10_000 + (process.pid % 1_000);
 
 // Guards against an unexpected error of one request that ends the process as an unhandled rejection,
 // or leaves its caller without an end.
--- a/packages/gateway/peers/peerSocket.test.ts
+++ b/packages/gateway/peers/peerSocket.test.ts
@@ -5,8 +5,8 @@
 
 const HOST = '127.0.0.1';
 
-/** Below the ports of outgoing connections; no other test uses it. */
-const PORT = 14_231;
+/** Below the ports of outgoing connections, and of this process only. */
+const PORT = 11_000 + (process.pid % 1_000);
 
 const MAX_DATAGRAM_BYTES = 65_507;
 
