Remember which endpoints left when the membership child restarts

Callers could be sent to an endpoint that left when the membership child, or the configuration before it, failed while a restored store had the endpoint as ready: the restarted child knew nothing of it. The incarnations that left now outlive the state of the child, and one is remembered as soon as it is known to leave, not only when it is removed.

Evidence: on the sources before, 'a restarted child still knows which incarnations left' saw [e-1, e-2, e-3, e-4] instead of [e-4]; it passes now, with the tests of gateway, platform and the platform's clients.

--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -20,6 +20,7 @@
   const logic = createMembershipLogic({
     clock,
     dataCentres: createDataCentres(),
+    gone: new Map(),
     listPolledEngines: () => polled,
   });
   let { state } = logic.init();
@@ -33,7 +34,17 @@
     scope: ReadScope = 'changed',
     removals: RemovalCertainty = CERTAIN,
   ) => post({ to: 'membership', kind: 'registrations-changed', changes, scope, removals });
-  return { clock, post, change, list: () => [...state.endpoints.keys()], getState: () => state };
+  const restart = (): void => {
+    ({ state } = logic.init());
+  };
+  return {
+    clock,
+    post,
+    change,
+    restart,
+    list: () => [...state.endpoints.keys()],
+    getState: () => state,
+  };
 };
 
 const register = (id: string, fields = {}): RecordChange => ({
@@ -312,3 +323,22 @@
   t.is(harness.getState().gone.size, MAX_GONE_INCARNATIONS);
   t.false(harness.getState().gone.has('e-4'));
 });
+
+// Guards against requests to an endpoint that left, because the child restarts while a restored store
+// has it as ready.
+test('a restarted child still knows which incarnations left', (t) => {
+  const harness = createHarness();
+  const report = { phase: 'leaving' } as const;
+  harness.change(['e-1', 'e-2', 'e-3', 'e-4'].map((id) => register(id, { sequence: 3 })));
+  harness.change([register('e-1', { sequence: 4, phase: 'leaving' })]);
+  harness.change([{ kind: 'endpoint-removed', id: 'e-2' }]);
+  harness.post({ to: 'membership', kind: 'report-read', endpoint: 'e-3', report });
+  harness.restart();
+  const copy = ['e-1', 'e-2', 'e-3', 'e-4'].map((id) => register(id, { sequence: 3 }));
+  harness.change(copy, 'all');
+  t.deepEqual(harness.list(), ['e-4']);
+  harness.change([register('e-1', { sequence: 4, phase: 'leaving' })]);
+  harness.change([register('e-3', { sequence: 4 })]);
+  t.deepEqual(harness.list(), ['e-4', 'e-1', 'e-3']);
+  t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
+});
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -81,6 +81,7 @@
 export interface MembershipInputs {
   readonly clock: Clock;
   readonly dataCentres: DataCentresState;
+  readonly gone: GoneIncarnations;
   /** Lists the engines to poll for their state while their registrations may be stale. */
   readonly listPolledEngines: () => readonly EndpointId[];
 }
@@ -120,7 +121,7 @@
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
-  recordGone(gone, known.record, removal);
+  recordGone(gone, known.record, removal === 'certain' ? 'ignored' : 'applied');
   // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
   const [oldest] = removed.keys();
@@ -167,6 +168,7 @@
   const record: EndpointRecord = isLeaving ? { ...registered, phase: 'leaving' } : registered;
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
+  if (record.phase === 'leaving') recordGone(gone, record, isLeaving ? 'ignored' : 'applied');
   endpoints.set(record.id, {
     record,
     health,
@@ -312,7 +314,7 @@
   });
 
 const applyReport = (
-  { endpoints }: MembershipState,
+  { endpoints, gone }: MembershipState,
   id: EndpointId,
   { phase }: EngineReport,
   now: Millis,
@@ -321,6 +323,7 @@
   if (known === undefined || phase === 'ready' || known.record.phase === 'leaving') return [];
   const record = { ...known.record, phase };
   endpoints.set(id, { ...known, record, leavingAt: now });
+  recordGone(gone, record, 'ignored');
   return [describeEndpoint(record, 'reported'), ...notifyLeaving(id)];
 };
 
@@ -328,12 +331,13 @@
  * Creates the decision logic of the `membership` child, which keeps the endpoints, their health as
  * observed by this daemon, and the data centres that operators took out of service.
  *
- * @param inputs - clock, data centres that are out, and the engines to poll
+ * @param inputs - clock, data centres that are out, incarnations that left, and the engines to poll
  * @returns the decision logic
  */
 export const createMembershipLogic = ({
   clock,
   dataCentres,
+  gone,
   listPolledEngines,
 }: MembershipInputs): ChildLogic<MembershipState, MembershipEvent, GatewayEffect> => ({
   init: () =>
@@ -342,7 +346,7 @@
         loaded: 'no',
         endpoints: new Map(),
         removed: new Map(),
-        gone: new Map(),
+        gone,
         ...dataCentres,
       },
       NEXT_REPORT_POLL,
--- a/packages/gateway/membership/recordOrder.ts
+++ b/packages/gateway/membership/recordOrder.ts
@@ -3,33 +3,36 @@
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { RemovalCertainty } from '../types.js';
 
-/** Incarnation of an endpoint whose registration was removed. */
+/** Incarnation of an endpoint that leaves or whose registration was removed. */
 export interface GoneIncarnation {
   readonly startedAt: number;
   /** Lowest sequence of a record that shows that the incarnation registered again. */
   readonly minSequence: number;
 }
 
-/** Newest removed incarnation of each endpoint, oldest removal first. */
+/**
+ * Newest incarnation of each endpoint that left, in the order in which that was learnt. It outlives the
+ * state of the child, which may load older records from a restored store.
+ */
 export type GoneIncarnations = Map<EndpointId, GoneIncarnation>;
 
 /**
- * Remembers a removed incarnation; above `MAX_GONE_INCARNATIONS` the oldest removal is dropped.
- * Incarnations without a start time or sequence are not remembered.
+ * Remembers an incarnation that leaves or was removed; above `MAX_GONE_INCARNATIONS` the oldest one is
+ * dropped. Incarnations without a start time or sequence are not remembered.
  *
  * @param gone - incarnations, updated in place
  * @param record - newest record of the incarnation
- * @param removal - whether its removal proves that the endpoint has stopped; if it does not, the
- *   same record may be written again
+ * @param sameRecord - `ignored` when the endpoint left after its newest record, so that the same record
+ *   proves nothing; `applied` when that record states it, or may be written again unchanged
  */
 export const recordGone = (
   gone: GoneIncarnations,
   { id, sequence, startedAt }: EndpointRecord,
-  removal: RemovalCertainty['kind'],
+  sameRecord: 'ignored' | 'applied',
 ): void => {
   gone.delete(id);
   if (startedAt === null || sequence === null) return;
-  gone.set(id, { startedAt, minSequence: removal === 'certain' ? sequence + 1 : sequence });
+  gone.set(id, { startedAt, minSequence: sameRecord === 'ignored' ? sequence + 1 : sequence });
   const [oldest] = gone.keys();
   if (gone.size > MAX_GONE_INCARNATIONS && oldest !== undefined) gone.delete(oldest);
 };
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -215,6 +215,7 @@
     membership: createMembershipLogic({
       clock,
       dataCentres: createDataCentres(),
+      gone: new Map(),
       listPolledEngines: () =>
         isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listSingleRunEndpoints(states.requests)
