--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -89,7 +89,7 @@
 
 /**
  * Number of the store's current copy of its records, which rises each time the store is restored
- * from an older copy; null when the store doesn't state it. Offsets are comparable only within one
+ * from an older copy; null when the store does not state it. Offsets are comparable only within one
  * epoch.
  */
 export type StoreEpoch = number | null;
