Add silences and planned work alone to the fault soak, and the promise that requests are answered

Cause: the soak had no worker that falls silent and goes on, no run without disruptions, and no promise for a request that was read and got neither an answer nor a refusal. It reported cut requests of draining gateways alone, and only those sent 3 s after SIGTERM. So it could not find lost streams at silent endpoints.

Change: the fault `worker-silence` holds the answers of a sound worker for 0.4 to 1.8 s, while requests pass. It is no disruption. The profile `planned` has silences, series of configurations with other limits and timeouts, SIGHUP, SIGTERM of one or all gateways and workers that leave with notice; its callers leave connections idle for up to four fifths of the idle limit, and a kind of stream ends with its connection. The promise `answered` holds in both profiles, except beside unplanned disruptions. Workers record the runs that they break off, which excuse their requests.

Two tests of the checks change, as a cut that nothing excuses is now a finding: one of them expects it, and the stream of the other was broken off by its worker.

--- a/packages/soak/applyFault.ts
+++ b/packages/soak/applyFault.ts
@@ -1,10 +1,13 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { LinkProxy } from './linkProxy.js';
 import type { Soak } from './soakState.js';
-import type { LinkId, SoakFault } from './types.js';
+import type { Disruption, LinkId, SoakFault } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Millis } from '../core/clock.js';
 
+/** Interval at which a restart waits for another gateway to serve, in ms. */
+const SERVING_POLL_MS = 50;
+
 /** Time for which a draining worker continues to serve, in ms. */
 const WORKER_DRAIN_MS = 2_600;
 
@@ -60,25 +63,29 @@
 };
 
 /**
- * Reports whether time limits are suspended while the fault lasts. They stay in force during
- * planned changes.
+ * Classifies the disruption that suspends time limits while the fault lasts. Planned changes and
+ * silent workers are none.
  */
-const isDisruptive = ({ kind }: SoakFault): boolean => {
+const classifyDisruption = ({ kind }: SoakFault): Disruption['cause'] | 'none' => {
   switch (kind) {
     case 'kill':
     case 'pause':
-    case 'terminate':
     case 'link':
     case 'store':
     case 'compact-store':
     case 'worker-crash':
-      return true;
+      return 'unplanned';
+    case 'terminate':
+    case 'restart-gateways':
+      return 'planned';
     case 'reload':
     case 'worker-leave':
+    case 'worker-silence':
     case 'configure':
+    case 'configure-series':
     case 'revoke-key':
     case 'data-centre-out':
-      return false;
+      return 'none';
     default:
       return assertNever(kind);
   }
@@ -101,6 +108,29 @@
   soak.platform.setDataCentreState(dataCentre, 'in');
 };
 
+const publishSeries = async (
+  { platform }: Soak,
+  { gapMs, versions }: Extract<SoakFault, { kind: 'configure-series' }>,
+): Promise<void> => {
+  for (const limits of versions) {
+    platform.publishConfiguration(limits);
+    await wait(gapMs);
+  }
+};
+
+/** Terminates a gateway as soon as another one serves. */
+const restartGateways = async (
+  soak: Soak,
+  { gapMs, gateways }: Extract<SoakFault, { kind: 'restart-gateways' }>,
+): Promise<void> => {
+  for (const index of gateways) {
+    const others = soak.gateways.filter((_, other) => other !== index);
+    while (!others.some((other) => other.isServing())) await wait(SERVING_POLL_MS);
+    soak.gateways[index]?.terminate();
+    await wait(gapMs);
+  }
+};
+
 const performFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
   const { gateways, platform } = soak;
   switch (fault.kind) {
@@ -141,8 +171,18 @@
     case 'worker-leave':
       await drainSlot(soak, fault);
       return;
+    case 'worker-silence':
+      soak.workerLinks[fault.slot]?.holdAnswers(fault.durationMs);
+      await wait(fault.durationMs);
+      return;
     case 'configure':
-      platform.publishConfiguration();
+      platform.publishConfiguration(null);
+      return;
+    case 'configure-series':
+      await publishSeries(soak, fault);
+      return;
+    case 'restart-gateways':
+      await restartGateways(soak, fault);
       return;
     case 'revoke-key': {
       const key = platform.revokeKey();
@@ -167,8 +207,9 @@
 export const applyFault = async (soak: Soak, fault: SoakFault): Promise<void> => {
   const from = soak.clock.now();
   // The end is unknown until the fault has been undone.
-  const disruption = { from, until: Infinity };
-  if (isDisruptive(fault)) soak.disruptions.push(disruption);
+  const cause = classifyDisruption(fault);
+  const disruption = cause === 'none' ? null : { cause, from, until: Infinity };
+  if (disruption !== null) soak.disruptions.push(disruption);
   await performFault(soak, fault);
-  disruption.until = soak.clock.now();
+  if (disruption !== null) disruption.until = soak.clock.now();
 };
--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -14,6 +14,8 @@
     body: string,
     timeoutMs: Millis,
   ) => Promise<CallOutcome>;
+  /** Reports whether an idle connection to the target is open. */
+  readonly isConnected: (target: LinkAddress) => boolean;
   readonly close: () => void;
 }
 
@@ -96,6 +98,8 @@
 
   return {
     call,
+    isConnected: ({ host, port }) =>
+      Object.keys(agent.freeSockets).some((name) => name.startsWith(`${host}:${port.toString()}:`)),
     close: () => {
       agent.destroy();
     },
--- a/packages/soak/checkPromises.test.ts
+++ b/packages/soak/checkPromises.test.ts
@@ -19,6 +19,7 @@
   body: 'b',
   sentAt: 50_000,
   endedAt: 50_050,
+  timeLimitMs: 1_000,
   outcome: { kind: 'answered', status: 200, signature: 'm-r-1', body: 'answer to b', eventIds: [] },
 };
 
@@ -32,6 +33,8 @@
   start: 'begun',
 };
 
+const BROKEN_RUN = { requestId: 'r-1', workerId: 'w-1' };
+
 const STREAM: CallRecord = {
   ...CALL,
   kind: 'generation',
@@ -42,6 +45,7 @@
   const observations: Observations = {
     calls: [CALL],
     runs: [RUN],
+    brokenRuns: [],
     changes: [],
     terminations: [],
     disruptions: [],
@@ -94,9 +98,9 @@
     const outcome = { ...STREAM.outcome, eventIds } as CallRecord['outcome'];
     t.deepEqual(check({ calls: [{ ...STREAM, outcome }] }), ['events-in-order']);
   }
-  // A stream whose connection ended early may be incomplete.
+  // A stream that its worker broke off may be incomplete.
   const cut: CallRecord = { ...STREAM, outcome: { kind: 'cut', eventIds: [1, 2] } };
-  t.deepEqual(check({ calls: [cut] }), []);
+  t.deepEqual(check({ calls: [cut], brokenRuns: [BROKEN_RUN] }), []);
 });
 
 // Guards against late effects that go unreported, and against limits that apply amid disruptions.
@@ -107,7 +111,7 @@
   t.deepEqual(check({ changes: [leaving] }), ['no-new-work-for-leaving']);
   t.deepEqual(check({ changes: [revoked] }), ['revoked-key']);
   t.deepEqual(check({ changes: [out] }), ['no-new-work-in-data-centre-out']);
-  const disruptions = [{ from: 46_000, until: 46_500 }];
+  const disruptions = [{ cause: 'planned', from: 46_000, until: 46_500 }] as const;
   t.deepEqual(check({ changes: [leaving, revoked, out], disruptions }), []);
 });
 
@@ -115,7 +119,43 @@
 test('a request that a draining process interrupts is reported', (t) => {
   const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
   const terminations = [{ gateway: 0, incarnation: 1, at: 49_000 }];
-  t.deepEqual(check({ calls: [cut], terminations }), ['drain-loses-nothing']);
-  t.deepEqual(check({ calls: [cut] }), []);
+  t.deepEqual(check({ calls: [cut], terminations }), ['drain-loses-nothing', 'answered']);
+  t.deepEqual(check({ calls: [cut] }), ['answered']);
   t.deepEqual(check({ calls: [cut], runs: [], terminations }), []);
 });
+
+// Guards against a request that was read and lost in calm or beside planned work.
+test('a request that was read and ends without an answer is reported', (t) => {
+  const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
+  const planned = [{ cause: 'planned', from: 49_000, until: 50_020 }] as const;
+  t.deepEqual(check({ calls: [cut] }), ['answered']);
+  t.deepEqual(check({ calls: [cut], disruptions: planned }), ['answered']);
+  t.deepEqual(check({ calls: [{ ...cut, endedAt: 50_300 }], runs: [] }), ['answered']);
+  const elsewhere = { ...BROKEN_RUN, workerId: 'w-2' };
+  t.deepEqual(check({ calls: [cut], brokenRuns: [elsewhere] }), ['answered']);
+});
+
+// Guards against findings where the rules allow a connection to end without an answer.
+test('a request that was unread, late or broken off may end without an answer', (t) => {
+  const cut: CallRecord = { ...CALL, outcome: { kind: 'cut', eventIds: [] } };
+  const unplanned = [{ cause: 'unplanned', from: 47_500, until: 47_600 }] as const;
+  t.deepEqual(check({ calls: [cut], runs: [] }), []);
+  t.deepEqual(check({ calls: [cut], brokenRuns: [BROKEN_RUN] }), []);
+  t.deepEqual(check({ calls: [cut], disruptions: unplanned }), []);
+  t.deepEqual(check({ calls: [{ ...cut, endedAt: 51_000 }] }), []);
+});
+
+// Guards against an excuse for more than the streams at the end of a grace period.
+test('the last sixth of the grace period excuses streams that were sent early in it', (t) => {
+  const outcome = { kind: 'cut', eventIds: [1] } as const;
+  const stream = { ...STREAM, outcome, timeLimitMs: 8_000, sentAt: 50_000, endedAt: 57_500 };
+  const checkAt = (call: CallRecord, at: number) =>
+    check({ calls: [call], terminations: [{ gateway: 0, incarnation: 1, at }] }).filter(
+      (promise) => promise === 'answered',
+    );
+  t.deepEqual(checkAt(stream, 50_000), []);
+  t.deepEqual(checkAt(stream, 48_000), ['answered']);
+  t.deepEqual(checkAt(stream, 51_000), ['answered']);
+  t.deepEqual(checkAt({ ...stream, endedAt: 54_600 }, 46_900), ['answered']);
+  t.deepEqual(checkAt({ ...stream, kind: 'once' }, 50_000), ['answered']);
+});
--- a/packages/soak/checkPromises.ts
+++ b/packages/soak/checkPromises.ts
@@ -1,6 +1,9 @@
 import {
+  END_SLACK_MS,
   EVACUATION_MS,
   GRACE_MS,
+  LAST_PART_START,
+  LATE_STREAM_MS,
   PROPAGATION_MS,
   SETTLING_MS,
   UNREAD_CLOSE_MS,
@@ -34,7 +37,8 @@
 /** Statuses which promise that the request did not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-const isStream = (kind: CallKind): boolean => kind === 'generation' || kind === 'resumable';
+const isStream = (kind: CallKind): boolean =>
+  kind === 'generation' || kind === 'unframed' || kind === 'resumable';
 
 const isRepeatable = (kind: CallKind): boolean => kind === 'idempotent' || kind === 'resumable';
 
@@ -162,6 +166,10 @@
       }),
   );
 
+/** Reports whether a gateway may have closed the connection before it read the request. */
+const isUnread = (call: CallRecord, runs: readonly RunRecord[]): boolean =>
+  runs.length === 0 && call.endedAt - call.sentAt <= UNREAD_CLOSE_MS;
+
 /**
  * Finds a request that a draining process interrupted. A connection that was closed before the
  * process read the request loses nothing.
@@ -179,13 +187,44 @@
       call.endedAt >= at &&
       call.endedAt <= at + GRACE_MS,
   );
-  const isUnread = runs.length === 0 && call.endedAt - call.sentAt <= UNREAD_CLOSE_MS;
-  if (termination === undefined || isUnread) return [];
+  if (termination === undefined || isUnread(call, runs)) return [];
   if (!isUndisrupted(disruptions, call.sentAt, call.endedAt)) return [];
   const detail = `${call.kind} ${call.id} was interrupted ${Math.round(call.endedAt - termination.at).toString()} ms after SIGTERM`;
   return [{ promise: 'drain-loses-nothing', detail }];
 };
 
+/** Reports whether the gateway ended so late in its grace period that a stream may be cut. */
+const isLastPart = (call: CallRecord, { terminations }: Observations): boolean =>
+  isStream(call.kind) &&
+  terminations.some(
+    ({ at, gateway }) =>
+      gateway === call.gateway &&
+      call.sentAt <= at + LATE_STREAM_MS &&
+      call.endedAt >= at + GRACE_MS * LAST_PART_START &&
+      call.endedAt <= at + GRACE_MS + END_SLACK_MS,
+  );
+
+/** Finds a request that was read and whose connection ended without a complete answer. */
+const checkAnswered = (
+  call: CallRecord,
+  runs: readonly RunRecord[],
+  observations: Observations,
+): readonly Finding[] => {
+  if (call.outcome.kind !== 'cut' || isUnread(call, runs)) return [];
+  const unplanned = observations.disruptions.filter(({ cause }) => cause === 'unplanned');
+  if (!isUndisrupted(unplanned, call.sentAt, call.endedAt)) return [];
+  const lastRun = runs.at(-1);
+  const isBrokenOff = observations.brokenRuns.some(
+    ({ requestId, workerId }) => requestId === call.id && workerId === lastRun?.workerId,
+  );
+  const durationMs = call.endedAt - call.sentAt;
+  if (isBrokenOff || durationMs >= call.timeLimitMs || isLastPart(call, observations)) return [];
+  const events = call.outcome.eventIds.length.toString();
+  const workers = runs.map(({ workerId }) => workerId).join(', ');
+  const detail = `${call.kind} ${call.id} at gateway ${call.gateway.toString()} was cut after ${Math.round(durationMs).toString()} ms and ${events} events; it ran at ${workers}`;
+  return [{ promise: 'answered', detail }];
+};
+
 const collectRunsByRequest = (
   runs: readonly RunRecord[],
 ): ReadonlyMap<string, readonly RunRecord[]> => {
@@ -224,6 +263,7 @@
       ...checkCustomer(call, runs),
       ...checkChanges(call, runs, observations),
       ...checkDrain(call, runs, observations),
+      ...checkAnswered(call, runs, observations),
     ];
   });
   return [...unsentFindings, ...callFindings];
--- a/packages/soak/constants.ts
+++ b/packages/soak/constants.ts
@@ -4,8 +4,12 @@
 export const LEDGER_COUNT = 3;
 export const DATA_CENTRE_COUNT = 3;
 
-/** Number of callers. Each sends one request after the other on a keep-alive connection. */
+/**
+ * Number of callers, and of those beside planned work alone, which pause. Each sends one request after
+ * the other on a keep-alive connection.
+ */
 export const CALLER_COUNT = 12;
+export const PLANNED_CALLER_COUNT = 24;
 
 /** Mean gap between two faults at the highest fault rate, in ms. */
 export const FAULT_GAP_MS = 500;
@@ -14,6 +18,13 @@
 export const MIN_FAULT_MS = 200;
 export const MAX_FAULT_MS = 2_500;
 
+/** Bounds on the silence of a sound worker, in ms. */
+export const MIN_SILENCE_MS = 400;
+export const MAX_SILENCE_MS = 1_800;
+
+/** Mean gap between two silences beside other faults, in ms. */
+export const SILENCE_GAP_MS = 2_000;
+
 /** Duration of the fault-free phase at the end, in which the system has to recover, in ms. */
 export const RECOVERY_MS = 6_000;
 
@@ -45,5 +56,26 @@
 export const CALL_TIMEOUT_MS = 1_000;
 export const STREAM_TIMEOUT_MS = 8_000;
 
+/**
+ * Deadline of plain calls beside planned work alone, and the shortest timeouts that a configuration
+ * sets, in ms. They exceed the longest silence, so that a silent worker can still answer in time.
+ */
+export const PLANNED_CALL_TIMEOUT_MS = 4_000;
+export const MIN_CALL_TIMEOUT_MS = 2_500;
+export const MIN_STREAM_TIMEOUT_MS = 6_000;
+
+/** Time after the grace period up to which the end of a process may show at its callers, in ms. */
+export const END_SLACK_MS = 1_000;
+
+/**
+ * A stream that was sent at most this long after SIGTERM may be interrupted in the last part of the
+ * grace period, which begins after this share of it.
+ */
+export const LATE_STREAM_MS = 3_000;
+export const LAST_PART_START = 5 / 6;
+
+/** Largest share of the idle limit for which callers keep an idle connection before they reuse it. */
+export const IDLE_SHARE = 0.8;
+
 /** Delay that a slow link adds to each chunk of bytes, in ms. */
 export const LINK_DELAY_MS = 150;
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -14,6 +14,9 @@
 /** Time after SIGTERM for which the load balancer still sends new connections, in ms. */
 const ROTATION_DELAY_MS = 2_000;
 
+/** Time from the start of a process after which it serves callers, in ms. */
+const SERVING_DELAY_MS = 1_500;
+
 /** Interval at which the phase of a process is polled, in ms. */
 const RUNNING_POLL_MS = 50;
 
@@ -26,6 +29,8 @@
    * SIGTERM.
    */
   readonly isInRotation: () => boolean;
+  /** Reports whether the process has been running for a while and is not terminating. */
+  readonly isServing: () => boolean;
   /** Resolves when the process is running and not terminating. */
   readonly waitUntilRunning: () => Promise<void>;
   readonly start: () => void;
@@ -66,6 +71,7 @@
   let child: ChildProcess | null = null;
   let phase: Phase = 'stopped';
   let incarnation = 0;
+  let startedAt = 0;
   let terminatedAt = 0;
 
   const handleExit = (code: number | null, signal: string | null): void => {
@@ -85,6 +91,7 @@
     if (child !== null) return;
     incarnation += 1;
     phase = 'running';
+    startedAt = clock.now();
     writeFileSync(settingsPath, platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
       env: { ...process.env, [platform.settingsVariable]: settingsPath },
@@ -119,6 +126,7 @@
     getIncarnation: () => incarnation,
     isInRotation: () =>
       phase === 'running' || (phase === 'ending' && clock.now() - terminatedAt < ROTATION_DELAY_MS),
+    isServing: () => phase === 'running' && clock.now() - startedAt >= SERVING_DELAY_MS,
     waitUntilRunning: async () => {
       while (phase !== 'running') await sleep(RUNNING_POLL_MS);
     },
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import { connect, createServer as createTcpServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { request } from 'undici';
 import { startLinkProxy } from './linkProxy.js';
@@ -48,6 +49,19 @@
   t.is(await call(), 'ok');
 });
 
+// Guards against a silence that loses answers, holds requests or has no effect.
+test('requests pass at once and answers after the silence', async (t) => {
+  const { call, countRequests, proxy } = await startProxiedServer(t);
+  const heldAt = performance.now();
+  proxy.holdAnswers(300);
+  const answer = call().then((text) => ({ text, heldMs: performance.now() - heldAt }));
+  while (countRequests() === 0) await sleep(5);
+  t.true(performance.now() - heldAt < 250);
+  const { heldMs, text } = await answer;
+  t.is(text, 'ok');
+  t.true(heldMs >= 290);
+});
+
 // Guards against a proxy that reorders bytes when a delay ends, which TCP never does.
 test('bytes stay in order when a delay ends', async (t) => {
   const server = createTcpServer((socket) => {
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -4,6 +4,7 @@
 import { LINK_DELAY_MS } from './constants.js';
 import type { LinkMode } from './types.js';
 import { assertNever } from '../core/assertNever.js';
+import type { Millis } from '../core/clock.js';
 
 /** Loopback address and port of a listener. */
 export interface LinkAddress {
@@ -16,6 +17,8 @@
   readonly address: LinkAddress;
   /** Applies to open and new connections. */
   readonly setMode: (mode: LinkMode) => void;
+  /** Delivers no answer for the duration, and then all that were held back. */
+  readonly holdAnswers: (durationMs: Millis) => void;
   /** Applies to new connections only. */
   readonly setTarget: (target: LinkAddress) => void;
   readonly close: () => void;
@@ -52,6 +55,7 @@
 ): Promise<LinkProxy> => {
   let target = initialTarget;
   let mode: LinkMode = 'pass';
+  let released: Promise<unknown> = Promise.resolve();
   const openSockets = new Set<Socket>();
   /** Sockets whose received bytes were dropped; nothing they send is delivered any more. */
   const silencedSockets = new WeakSet<Socket>();
@@ -61,7 +65,8 @@
     let lastDelivery: Promise<void> = Promise.resolve();
     const deliver = (action: () => void): void => {
       const delay = mode === 'delay' ? sleep(LINK_DELAY_MS) : Promise.resolve();
-      lastDelivery = Promise.all([lastDelivery, delay]).then(action);
+      const hold = direction === 'answer' ? released : Promise.resolve();
+      lastDelivery = Promise.all([lastDelivery, delay, hold]).then(action);
     };
     from.on('data', (bytes: Buffer) => {
       if (isDropped(mode, direction)) silencedSockets.add(from);
@@ -105,6 +110,9 @@
       if (mode !== 'reset') return;
       for (const socket of openSockets) socket.resetAndDestroy();
     },
+    holdAnswers: (durationMs) => {
+      released = Promise.all([released, sleep(durationMs)]);
+    },
     setTarget: (next) => {
       target = next;
     },
--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -8,8 +8,13 @@
   CALL_TIMEOUT_MS,
   ENGINE_COUNT,
   GATEWAY_COUNT,
+  IDLE_SHARE,
   LEDGER_COUNT,
+  MIN_CALL_TIMEOUT_MS,
   MIN_SERVED_SHARE,
+  MIN_STREAM_TIMEOUT_MS,
+  PLANNED_CALLER_COUNT,
+  PLANNED_CALL_TIMEOUT_MS,
   RECOVERY_DEADLINE_MS,
   RECOVERY_MS,
   STREAM_TIMEOUT_MS,
@@ -19,7 +24,7 @@
 import { planSoak } from './planSoak.js';
 import type { StartSoakPlatform } from './soakPlatform.js';
 import type { Soak } from './soakState.js';
-import type { CallKind, Finding, Termination } from './types.js';
+import type { CallKind, Finding, OperatorLimits, SoakProfile, Termination } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Millis } from '../core/clock.js';
@@ -30,6 +35,7 @@
 export interface SoakOptions {
   /** Seed of the faults and of the requests. */
   readonly seed: number;
+  readonly profile: SoakProfile;
   /** Time in which faults begin. */
   readonly durationMs: Millis;
   /** Directory of the settings files and logs; created if missing. */
@@ -58,30 +64,96 @@
 /** Pause of a caller between two requests, in ms. */
 const CALL_PAUSE_MS = 15;
 
-/** Kinds of requests, drawn with equal probability; a repeated kind is drawn more often. */
-const CALL_KINDS: readonly CallKind[] = ['once', 'once', 'idempotent', 'generation', 'resumable'];
+/** How callers behave beside the faults of a profile. */
+interface CallerHabits {
+  readonly callerCount: number;
+  /** Kinds of requests, drawn with equal probability; a repeated kind is drawn more often. */
+  readonly kinds: readonly CallKind[];
+  /** Deadline of plain calls; that of streams is the same in all profiles. */
+  readonly callTimeoutMs: Millis;
+  /** Limits of the first configuration. */
+  readonly limits: OperatorLimits;
+  /** Shortest timeouts of the routes in all configurations. */
+  readonly minCallTimeoutMs: Millis;
+  readonly minStreamTimeoutMs: Millis;
+  /** Share of the requests after which a caller leaves its connection idle. */
+  readonly idleShare: number;
+}
+
+const CALM_LIMITS: OperatorLimits = {
+  idleTimeoutMs: 15_000,
+  headerTimeoutMs: 3_000,
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 100_000,
+  callTimeoutMs: CALL_TIMEOUT_MS,
+  streamTimeoutMs: STREAM_TIMEOUT_MS,
+};
+
+const HABITS: Readonly<Record<SoakProfile, CallerHabits>> = {
+  faults: {
+    callerCount: CALLER_COUNT,
+    kinds: ['once', 'once', 'idempotent', 'generation', 'resumable'],
+    callTimeoutMs: CALL_TIMEOUT_MS,
+    limits: CALM_LIMITS,
+    minCallTimeoutMs: CALL_TIMEOUT_MS,
+    minStreamTimeoutMs: STREAM_TIMEOUT_MS,
+    idleShare: 0,
+  },
+  planned: {
+    callerCount: PLANNED_CALLER_COUNT,
+    kinds: ['once', 'idempotent', 'generation', 'unframed', 'resumable'],
+    callTimeoutMs: PLANNED_CALL_TIMEOUT_MS,
+    limits: { ...CALM_LIMITS, callTimeoutMs: PLANNED_CALL_TIMEOUT_MS, idleTimeoutMs: 4_000 },
+    minCallTimeoutMs: MIN_CALL_TIMEOUT_MS,
+    minStreamTimeoutMs: MIN_STREAM_TIMEOUT_MS,
+    idleShare: 0.15,
+  },
+};
 
-const getTimeout = (kind: CallKind): Millis => {
+/** Returns the deadline of a request, and the time after which its route may have ended it. */
+const getTimeLimits = (
+  kind: CallKind,
+  habits: CallerHabits,
+): { readonly deadlineMs: Millis; readonly timeLimitMs: Millis } => {
   switch (kind) {
     case 'once':
     case 'idempotent':
-      return CALL_TIMEOUT_MS;
+      return { deadlineMs: habits.callTimeoutMs, timeLimitMs: habits.minCallTimeoutMs };
     case 'generation':
+    case 'unframed':
     case 'resumable':
-      return STREAM_TIMEOUT_MS;
+      return { deadlineMs: STREAM_TIMEOUT_MS, timeLimitMs: habits.minStreamTimeoutMs };
     default:
       return assertNever(kind);
   }
 };
 
+/** Picks the pause after a request, in which the connection may stay idle. */
+const pickPause = (
+  { platform }: Soak,
+  { idleShare }: CallerHabits,
+  random: RandomSource,
+): Millis =>
+  idleShare > 0 && random.next() < idleShare
+    ? random.next() * IDLE_SHARE * platform.getIdleTimeoutMs()
+    : CALL_PAUSE_MS;
+
 /** Picks the next gateway in rotation, or simply the next gateway when none is in rotation. */
 const pickGateway = ({ gateways }: Soak, from: number): number => {
   const order = gateways.map((_, step) => (from + 1 + step) % GATEWAY_COUNT);
   return order.find((index) => gateways[index]?.isInRotation()) ?? (from + 1) % GATEWAY_COUNT;
 };
 
-/** Sends requests until the soak is over, and switches to the next gateway after a failure. */
-const runCaller = async (soak: Soak, index: number, random: RandomSource): Promise<void> => {
+/**
+ * Sends requests until the soak is over. Switches to the next gateway after a failure, or when its
+ * connection was closed and its gateway is out of rotation.
+ */
+const runCaller = async (
+  soak: Soak,
+  index: number,
+  random: RandomSource,
+  habits: CallerHabits,
+): Promise<void> => {
   const { clock, gateways, hosts, platform } = soak;
   const caller = createCaller(platform);
   let gateway = index % GATEWAY_COUNT;
@@ -89,15 +161,15 @@
     const keys = platform.listKeys();
     const callerKey = keys[index % keys.length];
     if (callerKey === undefined) break;
-    const kind = CALL_KINDS[Math.floor(random.next() * CALL_KINDS.length)] ?? 'once';
+    const kind = habits.kinds[Math.floor(random.next() * habits.kinds.length)] ?? 'once';
     const id = `c${index.toString()}-${sequence.toString()}`;
     const body = `body of ${id}`;
-    const timeoutMs = getTimeout(kind);
+    const { deadlineMs, timeLimitMs } = getTimeLimits(kind, habits);
     const incarnation = gateways[gateway]?.getIncarnation() ?? 0;
     const sentAt = clock.now();
     const target = { host: hosts[gateway] ?? '', port: platform.callerPort };
-    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs });
-    const outcome = await caller.call(target, wireCall, body, timeoutMs);
+    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs: deadlineMs });
+    const outcome = await caller.call(target, wireCall, body, deadlineMs);
     const { customer, key } = callerKey;
     const endedAt = clock.now();
     soak.calls.push({
@@ -110,13 +182,13 @@
       body,
       sentAt,
       endedAt,
+      timeLimitMs,
       outcome,
     });
+    await wait(pickPause(soak, habits, random));
     const isServed = outcome.kind === 'answered' && outcome.status === STATUS_OK;
-    if (!isServed || gateways[gateway]?.isInRotation() !== true) {
-      gateway = pickGateway(soak, gateway);
-    }
-    await wait(CALL_PAUSE_MS);
+    const isReachable = gateways[gateway]?.isInRotation() === true || caller.isConnected(target);
+    if (!isServed || !isReachable) gateway = pickGateway(soak, gateway);
   }
   caller.close();
 };
@@ -207,16 +279,17 @@
  * @returns the violations that were found, and counts of faults and requests
  */
 export const runSoak = async (options: SoakOptions): Promise<SoakReport> => {
-  const { directory, durationMs, seed } = options;
+  const { directory, durationMs, profile, seed } = options;
   mkdirSync(directory, { recursive: true });
   const soak = await buildSoak(options);
+  soak.platform.publishConfiguration(HABITS[profile].limits);
   await Promise.all(soak.workerLinks.map((_, slot) => startSlot(soak, slot)));
   for (const gateway of soak.gateways) gateway.start();
   await wait(STARTUP_MS);
-  const callers = Array.from({ length: CALLER_COUNT }, (_, index) =>
-    runCaller(soak, index, createSeededSource(seed, `caller ${index.toString()}`)),
+  const callers = Array.from({ length: HABITS[profile].callerCount }, (_, index) =>
+    runCaller(soak, index, createSeededSource(seed, `caller ${index.toString()}`), HABITS[profile]),
   );
-  const plan = planSoak(seed, durationMs);
+  const plan = planSoak(seed, durationMs, profile);
   const faults = plan.map(async ({ at, fault }) => {
     await wait(at);
     await applyFault(soak, fault);
@@ -229,7 +302,11 @@
   soak.phase = 'over';
   await Promise.all(callers);
   await closeSoak(soak);
-  const observations = { ...soak, runs: soak.platform.listRuns() };
+  const observations = {
+    ...soak,
+    runs: soak.platform.listRuns(),
+    brokenRuns: soak.platform.listBrokenRuns(),
+  };
   const promiseFindings = checkPromises(observations, soak.platform.answers);
   return {
     findings: [...soak.findings, ...recoveryFindings, ...promiseFindings],
--- a/packages/soak/soakPlatform.ts
+++ b/packages/soak/soakPlatform.ts
@@ -1,6 +1,13 @@
 import type { ExpectedAnswers } from './checkPromises.js';
 import type { LinkAddress } from './linkProxy.js';
-import type { CallKind, RunRecord, StoreFaultMode } from './types.js';
+import type {
+  BrokenRun,
+  CallKind,
+  LeaveNotice,
+  OperatorLimits,
+  RunRecord,
+  StoreFaultMode,
+} from './types.js';
 import type { Clock, Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId } from '../core/ids.js';
 
@@ -30,7 +37,7 @@
   /** Stops at once without deregistering; the registration expires later. */
   readonly crash: () => void;
   /** Begins to drain; the worker serves until it is closed. */
-  readonly leave: (notice: 'told' | 'untold') => void;
+  readonly leave: (notice: LeaveNotice) => void;
   /** Stops the worker after its drain and removes its registration. */
   readonly close: () => void;
 }
@@ -64,8 +71,13 @@
   readonly setStoreFault: (mode: StoreFaultMode | 'none') => void;
   /** Compacts the topics of the store, so that reads of old offsets fail. */
   readonly compactStore: () => void;
-  /** Publishes a new version of the configuration. */
-  readonly publishConfiguration: () => void;
+  /**
+   * Publishes a new version of the configuration, with the limits of the previous one if they are
+   * null. The first one needs limits.
+   */
+  readonly publishConfiguration: (limits: OperatorLimits | null) => void;
+  /** Returns the idle limit of the newest configuration. */
+  readonly getIdleTimeoutMs: () => Millis;
   readonly listKeys: () => readonly CallerKey[];
   /** Revokes an API key and returns it; returns null without an effect when only one is left. */
   readonly revokeKey: () => string | null;
@@ -77,6 +89,8 @@
   readonly readSignature: (headers: Readonly<Record<string, unknown>>) => string | null;
   /** Returns the executions that all workers recorded so far. */
   readonly listRuns: () => readonly RunRecord[];
+  /** Returns the executions that workers broke off so far. */
+  readonly listBrokenRuns: () => readonly BrokenRun[];
   readonly close: () => void;
 }
 
--- a/packages/soak/types.ts
+++ b/packages/soak/types.ts
@@ -14,9 +14,31 @@
   /** Requests pass, and answers are dropped. */
   | 'one-way';
 
+/**
+ * What a soak injects. `faults`: disruptions and planned work. `planned`: planned work and silences of
+ * sound workers alone, so that nothing excuses a lost request.
+ */
+export type SoakProfile = 'faults' | 'planned';
+
+/** Limits and timeouts that a version of the configuration sets. */
+export interface OperatorLimits {
+  readonly idleTimeoutMs: Millis;
+  readonly headerTimeoutMs: Millis;
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly callTimeoutMs: Millis;
+  readonly streamTimeoutMs: Millis;
+}
+
 /** How a failing store treats requests: it refuses them, never answers or resets connections. */
 export type StoreFaultMode = 'busy' | 'silent' | 'reset';
 
+/**
+ * `told`: the registration of a leaving worker shows that it drains. `untold`: the registration is
+ * removed.
+ */
+export type LeaveNotice = 'told' | 'untold';
+
 /** Identifies the link of one gateway to the store, or of all gateways to one worker slot. */
 export type LinkId =
   | { readonly kind: 'store'; readonly gateway: number }
@@ -48,15 +70,28 @@
   | {
       readonly kind: 'worker-leave';
       readonly slot: number;
-      /**
-       * `told`: the registration shows that the worker drains. `untold`: the registration is
-       * removed.
-       */
-      readonly notice: 'told' | 'untold';
+      readonly notice: LeaveNotice;
       readonly durationMs: Millis;
     }
+  /**
+   * A sound worker sends nothing for the duration, and then everything that it held back. It reads
+   * and works all the while.
+   */
+  | { readonly kind: 'worker-silence'; readonly slot: number; readonly durationMs: Millis }
   /** A new version of the configuration is published. */
   | { readonly kind: 'configure' }
+  /** Versions with other limits are published one after the other. */
+  | {
+      readonly kind: 'configure-series';
+      readonly versions: readonly OperatorLimits[];
+      readonly gapMs: Millis;
+    }
+  /** SIGTERM to one gateway after the other, of which at least one keeps serving. */
+  | {
+      readonly kind: 'restart-gateways';
+      readonly gateways: readonly number[];
+      readonly gapMs: Millis;
+    }
   | { readonly kind: 'revoke-key' }
   /** The data centre is evacuated. */
   | { readonly kind: 'data-centre-out'; readonly dataCentre: number; readonly durationMs: Millis };
@@ -70,10 +105,11 @@
 
 /**
  * Kinds of requests that callers send. `once` and `idempotent` are plain calls, of which only the
- * latter may run more than once. `generation` and `resumable` are streams, of which only the latter
- * may be resumed after its last event.
+ * latter may run more than once. `generation`, `unframed` and `resumable` are streams, of which only
+ * the last may be resumed after its last event. The answer to an `unframed` one has neither a length
+ * nor chunks and ends with its connection.
  */
-export type CallKind = 'once' | 'idempotent' | 'generation' | 'resumable';
+export type CallKind = 'once' | 'idempotent' | 'generation' | 'unframed' | 'resumable';
 
 /** How a request ended for its caller. */
 export type CallOutcome =
@@ -106,6 +142,8 @@
   readonly body: string;
   readonly sentAt: Millis;
   readonly endedAt: Millis;
+  /** The caller's deadline or the shortest timeout of the route, whichever is shorter. */
+  readonly timeLimitMs: Millis;
   readonly outcome: CallOutcome;
 }
 
@@ -126,8 +164,15 @@
   readonly start: 'begun' | 'continued' | 'foreign-copy';
 }
 
+/** A run that its worker broke off, by a crash or at the end of its drain. */
+export interface BrokenRun {
+  readonly requestId: string;
+  readonly workerId: string;
+}
+
 /** Interval in which a fault affected a gateway or something that the gateways depend on. */
 export interface Disruption {
+  readonly cause: 'unplanned' | 'planned';
   readonly from: Millis;
   readonly until: Millis;
 }
@@ -155,6 +200,11 @@
     | 'revoked-key'
     /** A draining gateway completes the requests that it has read. */
     | 'drain-loses-nothing'
+    /**
+     * A request that a gateway has read ends with a complete answer or a refusal, planned work and
+     * silent workers notwithstanding.
+     */
+    | 'answered'
     /** Requests are served again after the last fault. */
     | 'recovery'
     /** A gateway process exits only when the soak terminates or kills it. */
@@ -186,6 +236,7 @@
 export interface Observations {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
+  readonly brokenRuns: readonly BrokenRun[];
   readonly changes: readonly PublishedChange[];
   readonly terminations: readonly Termination[];
   readonly disruptions: readonly Disruption[];
