Let a quarter of the requests beside planned work be slow

Cause: streams took 1.25 s, so that gateways drained in 3.3 s and no stream was left when a worker ended after its notice or a gateway at the end of its grace period. These parts of planned work were not tried.

--- a/packages/soak/runSoak.ts
+++ b/packages/soak/runSoak.ts
@@ -24,7 +24,14 @@
 import { planSoak } from './planSoak.js';
 import type { StartSoakPlatform } from './soakPlatform.js';
 import type { Soak } from './soakState.js';
-import type { CallKind, Finding, OperatorLimits, SoakProfile, Termination } from './types.js';
+import type {
+  CallKind,
+  CallPace,
+  Finding,
+  OperatorLimits,
+  SoakProfile,
+  Termination,
+} from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import { createSystemClock } from '../core/clock.js';
 import type { Millis } from '../core/clock.js';
@@ -78,6 +85,8 @@
   readonly minStreamTimeoutMs: Millis;
   /** Share of the requests after which a caller leaves its connection idle. */
   readonly idleShare: number;
+  /** Share of the requests that are slow. */
+  readonly slowShare: number;
 }
 
 const CALM_LIMITS: OperatorLimits = {
@@ -98,6 +107,7 @@
     minCallTimeoutMs: CALL_TIMEOUT_MS,
     minStreamTimeoutMs: STREAM_TIMEOUT_MS,
     idleShare: 0,
+    slowShare: 0,
   },
   planned: {
     callerCount: PLANNED_CALLER_COUNT,
@@ -107,6 +117,7 @@
     minCallTimeoutMs: MIN_CALL_TIMEOUT_MS,
     minStreamTimeoutMs: MIN_STREAM_TIMEOUT_MS,
     idleShare: 0.15,
+    slowShare: 0.25,
   },
 };
 
@@ -162,13 +173,20 @@
     const callerKey = keys[index % keys.length];
     if (callerKey === undefined) break;
     const kind = habits.kinds[Math.floor(random.next() * habits.kinds.length)] ?? 'once';
+    const pace: CallPace = random.next() < habits.slowShare ? 'slow' : 'quick';
     const id = `c${index.toString()}-${sequence.toString()}`;
     const body = `body of ${id}`;
     const { deadlineMs, timeLimitMs } = getTimeLimits(kind, habits);
     const incarnation = gateways[gateway]?.getIncarnation() ?? 0;
     const sentAt = clock.now();
     const target = { host: hosts[gateway] ?? '', port: platform.callerPort };
-    const wireCall = platform.buildCall({ id, kind, key: callerKey.key, timeoutMs: deadlineMs });
+    const wireCall = platform.buildCall({
+      id,
+      kind,
+      pace,
+      key: callerKey.key,
+      timeoutMs: deadlineMs,
+    });
     const outcome = await caller.call(target, wireCall, body, deadlineMs);
     const { customer, key } = callerKey;
     const endedAt = clock.now();
--- a/packages/soak/soakPlatform.ts
+++ b/packages/soak/soakPlatform.ts
@@ -3,6 +3,7 @@
 import type {
   BrokenRun,
   CallKind,
+  CallPace,
   LeaveNotice,
   OperatorLimits,
   RunRecord,
@@ -22,6 +23,7 @@
 export interface CallSpec {
   readonly id: string;
   readonly kind: CallKind;
+  readonly pace: CallPace;
   readonly key: string;
   readonly timeoutMs: Millis;
 }
--- a/packages/soak/types.ts
+++ b/packages/soak/types.ts
@@ -111,6 +111,9 @@
  */
 export type CallKind = 'once' | 'idempotent' | 'generation' | 'unframed' | 'resumable';
 
+/** How long the stream of a request takes: `slow` ones outlast the drain of a worker. */
+export type CallPace = 'quick' | 'slow';
+
 /** How a request ended for its caller. */
 export type CallOutcome =
   /** The answer was complete. */
