Replace the settings file of a gateway in one step in the soak

Cause: the soak rewrote the file in place before SIGHUP.

Change: the file is written under another name and renamed.

--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { createWriteStream, writeFileSync } from 'node:fs';
+import { createWriteStream, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { GRACE_MS } from './constants.js';
@@ -74,6 +74,13 @@
   let startedAt = 0;
   let terminatedAt = 0;
 
+  /** Replaces the file in one step, since a process that starts may read it meanwhile. */
+  const writeSettings = (text: string): void => {
+    const draftPath = `${settingsPath}.draft`;
+    writeFileSync(draftPath, text);
+    renameSync(draftPath, settingsPath);
+  };
+
   const handleExit = (code: number | null, signal: string | null): void => {
     const isExpected = phase === 'ending' || phase === 'killed';
     if (!isExpected) {
@@ -92,7 +99,7 @@
     incarnation += 1;
     phase = 'running';
     startedAt = clock.now();
-    writeFileSync(settingsPath, platform.formatSettings(spec));
+    writeSettings(platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
       env: { ...process.env, [platform.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -152,7 +159,7 @@
     },
     reload: () => {
       if (child === null || phase !== 'running') return;
-      writeFileSync(settingsPath, `${platform.formatSettings(spec)}\n`);
+      writeSettings(`${platform.formatSettings(spec)}\n`);
       child.kill('SIGHUP');
     },
     end: () =>
