Pass a reset that comes with bytes on as a reset in the soak

So a link of the soak could turn the reset of a worker into the end of an answer without a length, and a caller could take a broken one for whole.

Change: at its end, a connection that was reset has no peer any more. Links then reset the other side, and callers count an answer without a length as cut.

--- a/packages/soak/caller.ts
+++ b/packages/soak/caller.ts
@@ -1,6 +1,7 @@
 import { Agent, request as openRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import { createParser } from 'eventsource-parser';
+import { isReset } from './linkProxy.js';
 import type { LinkAddress } from './linkProxy.js';
 import type { SoakPlatform, WireCall } from './soakPlatform.js';
 import type { CallOutcome } from './types.js';
@@ -56,6 +57,7 @@
       const eventIds: number[] = [];
       let connectionState: 'connecting' | 'connected' = 'connecting';
       let isTimedOut = false;
+      let ending: 'open' | 'ended' | 'reset' = 'open';
       const parser = createParser({
         onEvent: ({ id }) => {
           if (id !== undefined) eventIds.push(Number(id));
@@ -71,6 +73,11 @@
         resolve(isTimedOut ? { kind: 'timed-out' } : result);
       };
       outgoing.on('socket', (socket) => {
+        const recordEnd = (): void => {
+          ending = isReset(socket) ? 'reset' : 'ended';
+        };
+        socket.prependListener('end', recordEnd);
+        outgoing.once('close', () => socket.off('end', recordEnd));
         if (!socket.connecting) connectionState = 'connected';
         else
           socket.once('connect', () => {
@@ -82,12 +89,14 @@
       });
       outgoing.on('response', (answer) => {
         const status = answer.statusCode ?? 0;
-        const signature = platform.readSignature(answer.headers);
+        const { headers } = answer;
+        const signature = platform.readSignature(headers);
+        const isFramed = 'content-length' in headers || 'transfer-encoding' in headers;
         void readAnswer(answer, (chunk) => {
           parser.feed(chunk);
         }).then(({ isComplete, text }) => {
           settle(
-            isComplete
+            isComplete && (isFramed || ending !== 'reset')
               ? { kind: 'answered', status, signature, body: text, eventIds }
               : { kind: 'cut', eventIds },
           );
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import { request } from 'undici';
-import { startLinkProxy } from './linkProxy.js';
+import { isReset, startLinkProxy } from './linkProxy.js';
 
 const startProxiedServer = async (t: { teardown: (end: () => void) => void }) => {
   let requestCount = 0;
@@ -62,6 +62,32 @@
   t.true(heldMs >= 290);
 });
 
+// Guards against a broken answer without a length that looks complete behind the proxy.
+test('a reset right after bytes is passed on as a reset', async (t) => {
+  const server = createTcpServer((socket) => {
+    setTimeout(() => {
+      socket.write('a');
+      socket.resetAndDestroy();
+    }, 20);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const proxy = await startLinkProxy({ host: '127.0.0.1', port }, '127.0.0.1');
+  t.teardown(() => {
+    proxy.close();
+    server.close();
+  });
+  const socket = connect(proxy.address);
+  const ends: string[] = [];
+  socket.on('data', () => undefined);
+  socket.on('end', () => ends.push(isReset(socket) ? 'reset' : 'ended'));
+  socket.on('error', () => ends.push('reset'));
+  await new Promise((resolve) => socket.once('close', resolve));
+  t.deepEqual(ends, ['reset']);
+});
+
 // Guards against a proxy that reorders bytes when a delay ends, which TCP never does.
 test('bytes stay in order when a delay ends', async (t) => {
   const server = createTcpServer((socket) => {
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -26,6 +26,16 @@
 
 type Direction = 'request' | 'answer';
 
+/**
+ * Reports whether a connection was reset, in its `end` event. The runtime reports a reset that comes
+ * together with bytes as an end; only an ended connection still has a peer. Any earlier read of
+ * `remoteAddress` would be cached.
+ *
+ * @param socket - connection that has just ended
+ * @returns whether the peer reset it
+ */
+export const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
+
 const isDropped = (mode: LinkMode, direction: Direction): boolean => {
   switch (mode) {
     case 'pass':
@@ -76,7 +86,9 @@
       });
     });
     from.on('end', () => {
-      if (!silencedSockets.has(from) && !isDropped(mode, direction)) deliver(() => to.end());
+      if (silencedSockets.has(from) || isDropped(mode, direction)) return;
+      const wasReset = isReset(from);
+      deliver(() => (wasReset ? to.resetAndDestroy() : to.end()));
     });
     // The 'close' handler propagates a reset.
     from.on('error', () => undefined);
