--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { createWriteStream, writeFileSync } from 'node:fs';
+import { createWriteStream, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { GRACE_MS } from './constants.js';
@@ -14,6 +14,9 @@
 /** Time after SIGTERM for which the load balancer still sends new connections, in ms. */
 const ROTATION_DELAY_MS = 2_000;
 
+/** Time from the start of a process after which it serves callers, in ms. */
+const SERVING_DELAY_MS = 1_500;
+
 /** Interval at which the phase of a process is polled, in ms. */
 const RUNNING_POLL_MS = 50;
 
@@ -26,6 +29,8 @@
    * SIGTERM.
    */
   readonly isInRotation: () => boolean;
+  /** Reports whether the process has been running for a while and is not terminating. */
+  readonly isServing: () => boolean;
   /** Resolves when the process is running and not terminating. */
   readonly waitUntilRunning: () => Promise<void>;
   readonly start: () => void;
@@ -66,8 +71,16 @@
   let child: ChildProcess | null = null;
   let phase: Phase = 'stopped';
   let incarnation = 0;
+  let startedAt = 0;
   let terminatedAt = 0;
 
+  /** Replaces the file in one step, since a process that starts may read it meanwhile. */
+  const writeSettings = (text: string): void => {
+    const draftPath = `${settingsPath}.draft`;
+    writeFileSync(draftPath, text);
+    renameSync(draftPath, settingsPath);
+  };
+
   const handleExit = (code: number | null, signal: string | null): void => {
     const isExpected = phase === 'ending' || phase === 'killed';
     if (!isExpected) {
@@ -85,7 +98,8 @@
     if (child !== null) return;
     incarnation += 1;
     phase = 'running';
-    writeFileSync(settingsPath, platform.formatSettings(spec));
+    startedAt = clock.now();
+    writeSettings(platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
       env: { ...process.env, [platform.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -119,6 +133,7 @@
     getIncarnation: () => incarnation,
     isInRotation: () =>
       phase === 'running' || (phase === 'ending' && clock.now() - terminatedAt < ROTATION_DELAY_MS),
+    isServing: () => phase === 'running' && clock.now() - startedAt >= SERVING_DELAY_MS,
     waitUntilRunning: async () => {
       while (phase !== 'running') await sleep(RUNNING_POLL_MS);
     },
@@ -144,7 +159,7 @@
     },
     reload: () => {
       if (child === null || phase !== 'running') return;
-      writeFileSync(settingsPath, `${platform.formatSettings(spec)}\n`);
+      writeSettings(`${platform.formatSettings(spec)}\n`);
       child.kill('SIGHUP');
     },
     end: () =>
