Resume a stopped generation at its source when the target is gone

Callers saw: a memo that was cut within the 0.2 s of its transfer from a leaving engine, beside an evacuation.

Cause: the source had been told to stop, and when the copy was complete its holder was no candidate any more, since its data centre had been taken out. The generation was given up, although the source still has it under the same handle. Class: one alternative is taken for the only one.

Change: without its target, the generation resumes at the source.

Evidence: "a stopped generation resumes at its source when the target is not available" failed before.

--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -236,6 +236,24 @@
   }
 });
 
+// Guards against a lost generation whose target became unavailable during the transfer, as when its data
+// centre was taken out: the source still has the stopped generation.
+test('a stopped generation resumes at its source when the target is not available', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  const [copy] = findTransfers(postLeaving(harness));
+  endStep(harness, order, COPIED);
+  const target = harness.endpoints.findIndex(
+    ({ address }) => address.port === copy?.order.target.port,
+  );
+  harness.endpoints.splice(target, 1);
+  const effects = endStep(harness, order, COPIED);
+  const [next] = findAttemptOrders(effects);
+  t.deepEqual(next?.address, order.address);
+  t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
+  t.is(findEffect(effects, 'break-answer'), undefined);
+});
+
 // Guards against memory that the copy of an ended generation keeps in use.
 test('a copy is released when its generation ends first', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -183,16 +183,16 @@
 ): Effects => {
   const { attempt, forwarding } = run;
   const { key } = forwarding.request;
-  const plan = planFromCopy(forwarding, { holder: endpoint, name: copy }, context);
+  const fallback = { holder: attempt.endpoint, name: copy };
+  // Without its target, as when the data centre was taken out meanwhile, the source can go on.
+  const plan =
+    planFromCopy(forwarding, { holder: endpoint, name: copy }, context) ??
+    planFromCopy(forwarding, fallback, context);
   if (plan !== null) {
     forwarding.attempts.delete(attempt.number);
     return [
       { kind: 'cancel-attempt', key, attempt: attempt.number },
-      ...openContinuation(
-        forwarding,
-        { ...plan, fallback: { holder: attempt.endpoint, name: copy } },
-        context,
-      ),
+      ...openContinuation(forwarding, { ...plan, fallback }, context),
     ];
   }
   const end = {
