Do not count a backup that a cancelled continuation has used

Callers saw: a stream that was cut when its engine left with notice.

Cause: a silent endpoint that goes on keeps its stream, and the continuation is cancelled. The continuation has used up the copy at the backup, which still counted: the stream was not transferred when its engine left, and its next continuation was refused.

Change: an attempt whose copy has been given to a continuation has none any more.

Evidence: "a stream whose backup was used is transferred when its endpoint leaves" failed before.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -158,3 +158,19 @@
   const written = sendEvents(harness, continuation, 4, 5);
   t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 5)));
 });
+
+// Guards against a stream that is lost with its endpoint because its backup still counts, although the
+// continuation that was cancelled has used it.
+test('a stream whose backup was used is transferred when its endpoint leaves', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+  startAnswer(harness, continuation);
+  sendEvents(harness, order, 4, 4);
+  const leaving = harness.post({
+    to: 'requests',
+    kind: 'endpoint-leaving',
+    endpoint: order.head.endpointId,
+  });
+  t.truthy(findEffect([...leaving, ...harness.wait(50)], 'start-transfer'));
+});
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -94,8 +94,9 @@
   const plan = planContinuation(forwarding, attempt, context);
   if (plan === null) return [describe('no-endpoint'), nextCheck];
   if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
-  // The continuation uses the copy, so the end of this attempt must not release it.
+  // A copy can be used once, and the continuation uses it even if this attempt goes on.
   attempt.copy = null;
+  attempt.backup = null;
   return [
     describe('continued'),
     ...openContinuation(forwarding, plan, context),
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -56,8 +56,11 @@
   readonly endpoint: EndpointRecord;
   readonly purpose: AttemptPurpose;
   readonly startedAt: Millis;
-  /** Endpoint to which the generation is replicated from its start; null without a backup. */
-  readonly backup: EndpointRecord | null;
+  /**
+   * Endpoint to which the generation is replicated from its start; null without a backup, or when a
+   * continuation has used it.
+   */
+  backup: EndpointRecord | null;
   phase: AttemptPhase;
   head: AnswerHead | null;
   readonly chunks: Uint8Array[];
