Take a stream that ended by itself during the order to stop it for complete

Callers saw: a stream with one event more than it has, or a cut at its end, while its engine left as planned.

Cause: an answer without a length ends with its connection, as it also does when the source stops the generation for a transfer. When the stream ended by itself while the order to stop was pending, the order was answered with 'no such run', and the gateway continued the finished stream from its first copy at the target.

Change: the state of the stream says whether it ended or broke. One that ended outside an event, and which its source does not run any more, is complete; its copy is released.

Evidence: "a stream that ends by itself during the order to stop it is complete" failed before.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -250,7 +250,8 @@
 
 const endStream = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
   // The source of a transfer closes its stream, which for this framing looks like the end.
-  if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt) === 'wait') return [];
+  if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt, 'ended') === 'wait')
+    return [];
   const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
   // Only with a framing does the end of a continuation without events mean that nothing was left.
   const isUnproven = attempt.events === 0 && attempt.head?.framing === 'until-close';
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -217,7 +217,7 @@
     case 'answer-ended':
       return finishAnswer(forwarding, attempt, context);
     case 'attempt-failed':
-      return checkStreamEnd(attempt) === 'wait'
+      return checkStreamEnd(attempt, 'broken') === 'wait'
         ? []
         : failAttempt(forwarding, attempt, event.failure, context);
     case 'endpoint-probed':
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -92,6 +92,21 @@
   t.is(findAttemptOrders(endStep(harness, order, COPIED)).length, 1);
 });
 
+// Guards against events beyond the end of a stream, or a cut, when it ends by itself while the order to
+// stop it is pending.
+test('a stream that ends by itself during the order to stop it is complete', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1, [], 'until-close') as [AttemptOrder];
+  postLeaving(harness);
+  endStep(harness, order, COPIED);
+  t.deepEqual(harness.post({ ...toEvent(order), kind: 'answer-ended' }), []);
+  const effects = endStep(harness, order, { kind: 'not-running' });
+  t.deepEqual(findAttemptOrders(effects), []);
+  t.truthy(findEffect(effects, 'end-answer'));
+  t.like(findEffect(effects, 'release-copy'), { handle: 'h-1' });
+  t.is(harness.countOpen(), 0);
+});
+
 // Guards against copies that delay each other on the network link of the leaving engine.
 test('generations of one engine are transferred one at a time', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,10 +1,16 @@
-import { chooseTransferTarget, openContinuation, planFromCopy } from './attempts.js';
+import {
+  cancelAttempts,
+  chooseTransferTarget,
+  openContinuation,
+  planFromCopy,
+} from './attempts.js';
 import {
   MAX_TRANSFER_TRIES,
   TRANSFER_CHECK_MS,
   TRANSFER_RETRY_MS,
   TRANSFER_START_DELAY_MS,
 } from './constants.js';
+import { finishStream } from './outcomes.js';
 import { endAttempt } from './retrying.js';
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
@@ -13,6 +19,7 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
+import { hasOnlyComments } from '../../decisions/forwarding/eventSplitter.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
@@ -257,10 +264,35 @@
   reason: string,
   context: RequestsContext,
 ): Effects => {
+  const { attempt, forwarding } = run;
   const released = [describeTransfer(run, reason, transfer.target), ...endTransfer(run)];
-  if (run.attempt.streamState === 'open') return released;
+  if (attempt.streamState === 'open') return released;
   const end = { kind: 'broken', message: 'the transfer failed' } as const;
-  return [...released, ...endAttempt(run.forwarding, run.attempt, end, context)];
+  return [...released, ...endAttempt(forwarding, attempt, end, context)];
+};
+
+/**
+ * Ends a transfer whose source does not run the generation any more. A stream that ended by itself
+ * before the order to stop is complete.
+ */
+const endFinishedTransfer = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  context: RequestsContext,
+): Effects => {
+  const { attempt, forwarding } = run;
+  const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
+  if (attempt.streamState !== 'ended' || isInsideEvent) {
+    return failTransfer(run, transfer, 'not-running', context);
+  }
+  forwarding.attempts.delete(attempt.number);
+  return [
+    describeTransfer(run, 'finished', transfer.target),
+    ...endTransfer(run),
+    ...releaseCopy(attempt),
+    ...cancelAttempts(forwarding),
+    ...finishStream(forwarding, attempt, context),
+  ];
 };
 
 const endTransferStep = (
@@ -294,7 +326,7 @@
       // The generation waits for its first token or was preempted, and will run soon.
       return transfer.phase === 'copying'
         ? retryTransfer(run, transfer, 'not-running', context)
-        : failTransfer(run, transfer, 'not-running', context);
+        : endFinishedTransfer(run, transfer, context);
     case 'failed':
       return failTransfer(run, transfer, result.message, context);
     default:
@@ -334,10 +366,11 @@
  * Checks whether a stream ended early because a transfer stopped its generation, and records it.
  *
  * @param attempt - attempt whose stream ended early
+ * @param end - how it ended
  * @returns `wait` when the result of the transfer is pending, else `ended`
  */
-export const checkStreamEnd = (attempt: Attempt): 'wait' | 'ended' => {
+export const checkStreamEnd = (attempt: Attempt, end: 'ended' | 'broken'): 'wait' | 'ended' => {
   if (attempt.transfer?.phase !== 'stopping') return 'ended';
-  attempt.streamState = 'ended';
+  attempt.streamState = end;
   return 'wait';
 };
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -77,8 +77,8 @@
   readonly fallback: CopyLocation | null;
   /** Endpoints that refused a transfer of the generation for lack of capacity. */
   readonly refusedTargets: Set<EndpointId>;
-  /** Whether the endpoint's stream can still deliver events. */
-  streamState: 'open' | 'ended';
+  /** Whether the endpoint's stream can still deliver events, and how it ended. */
+  streamState: 'open' | 'ended' | 'broken';
   /** Failure after which the endpoint is being probed; null while the connection is open. */
   failure: AttemptFailure | null;
   /** Number of events received from this endpoint. */
