--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -56,8 +56,11 @@
   readonly endpoint: EndpointRecord;
   readonly purpose: AttemptPurpose;
   readonly startedAt: Millis;
-  /** Endpoint to which the generation is replicated from its start; null without a backup. */
-  readonly backup: EndpointRecord | null;
+  /**
+   * Endpoint to which the generation is replicated from its start; null without a backup, or when a
+   * continuation has used it.
+   */
+  backup: EndpointRecord | null;
   phase: AttemptPhase;
   head: AnswerHead | null;
   readonly chunks: Uint8Array[];
@@ -74,8 +77,8 @@
   readonly fallback: CopyLocation | null;
   /** Endpoints that refused a transfer of the generation for lack of capacity. */
   readonly refusedTargets: Set<EndpointId>;
-  /** Whether the endpoint's stream can still deliver events. */
-  streamState: 'open' | 'ended';
+  /** Whether the endpoint's stream can still deliver events, and how it ended. */
+  streamState: 'open' | 'ended' | 'broken';
   /** Failure after which the endpoint is being probed; null while the connection is open. */
   failure: AttemptFailure | null;
   /** Number of events received from this endpoint. */
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -153,6 +153,11 @@
       cradle.responders.remove(key);
       cradle.daemon.loop.post({ to: 'requests', kind: 'caller-disconnected', key });
     },
+    onFault: (error) => {
+      cradle.events.record('effect-failed', {
+        data: { effect: 'accept-request', error: String(error) },
+      });
+    },
   });
 
 const buildEndpoints = (cradle: GatewayCradle): EndpointClient =>
@@ -228,6 +233,7 @@
     membership: createMembershipLogic({
       clock,
       dataCentres: createDataCentres(),
+      gone: new Map(),
       listPolledEngines: () =>
         isFeedStale(states.feeds.registrations, clock.now(), getPacingInputs())
           ? listSingleRunEndpoints(states.requests)
