Count and log the attempts that the overlap of a continuation ends

Callers saw: nothing yet. A stream could reach more endpoints than its route permits (BUDGET), and new requests were placed at an endpoint that had just fallen silent.

Cause: when the first event of a continuation came within the overlap, the silent attempt was removed without being counted as a run, logged, or reported to the membership. A backup counted as used even if it had refused the continuation.

Change: the silent attempt ends like any other. A continuation that is given up counts as a run once it was sent, and only then is its backup used up.

Evidence: three tests of silence.test.ts failed before: repeated silences, the silent endpoint that counts as failed, and the refused continuation.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -1,4 +1,4 @@
-import { cancelAttempts, cancelOtherAttempts } from './attempts.js';
+import { cancelAttempts } from './attempts.js';
 import { releaseCopy } from './generationCopy.js';
 import {
   END_EVENTS,
@@ -10,6 +10,7 @@
 import { failAttempt } from './crashes.js';
 import { finishStream, sendWholeAnswer } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { endOverlap } from './silence.js';
 import { checkStreamEnd } from './transfers.js';
 import type { AttemptEnd } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
@@ -229,7 +230,7 @@
     events.length === 0
       ? []
       : [
-          ...cancelOtherAttempts(forwarding, attempt),
+          ...endOverlap(forwarding, attempt, context),
           ...writeEvents(forwarding, attempt, events, context),
         ];
   const message = split.outcome === 'too-large' ? 'an event is too large' : fault;
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -213,19 +213,6 @@
   return running.flatMap((attempt) => cancelAttempt(forwarding, attempt));
 };
 
-/**
- * Cancels the running attempts of a request but one.
- *
- * @param forwarding - request
- * @param kept - attempt that goes on
- * @returns effects that close the connections of the others and release their copies
- */
-export const cancelOtherAttempts = (forwarding: Forwarding, kept: Attempt): Effects => {
-  const others = [...forwarding.attempts.values()].filter((attempt) => attempt !== kept);
-  for (const { number } of others) forwarding.attempts.delete(number);
-  return others.flatMap((attempt) => cancelAttempt(forwarding, attempt));
-};
-
 /**
  * Places a request at an endpoint, schedules another try, or refuses it after the longest permitted
  * wait.
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -174,3 +174,44 @@
   });
   t.truthy(findEffect([...leaving, ...harness.wait(50)], 'start-transfer'));
 });
+
+// Guards against a stream that reaches more endpoints than its route permits, because an attempt that
+// the overlap ended was not counted as a run.
+test('a stream reaches no more endpoints than permitted by repeated silences', (t) => {
+  for (const winner of ['silent', 'continuation'] as const) {
+    const harness = createRequestsHarness();
+    const first = startStream(harness, '/summary/1');
+    const second = getOrder(harness.wait(LONG_SILENCE_MS));
+    startAnswer(harness, second);
+    sendEvents(harness, winner === 'silent' ? first : second, 4, 5);
+    t.deepEqual(findAttemptOrders(harness.wait(LONG_SILENCE_MS * 2)), []);
+  }
+});
+
+// Guards against new requests at an endpoint that fell silent, and against logs that do not say how a
+// silent attempt ended, when the continuation answers at once.
+test('a silent endpoint whose stream another one continues counts as failed', (t) => {
+  const harness = createRequestsHarness();
+  const first = startStream(harness, '/memo/1');
+  const second = getOrder(harness.wait(LONG_SILENCE_MS));
+  startAnswer(harness, second);
+  const effects = sendEvents(harness, second, 4, 4);
+  const observed = effects.flatMap((effect) =>
+    effect.kind === 'post' && effect.event.kind === 'attempt-observed' ? [effect.event] : [],
+  );
+  t.like(observed[0], { endpoint: first.head.endpointId, observation: { kind: 'failed' } });
+  t.true(effects.some((effect) => effect.kind === 'log' && effect.name === 'attempt-ended'));
+});
+
+// Guards against a lost stream because a continuation that its backup refused, and which has used
+// nothing, counts as the use of the backup.
+test('a refused continuation leaves the backup usable', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+  startAnswer(harness, continuation, REFUSED);
+  sendEvents(harness, order, 4, 4);
+  const failure = { kind: 'broken', message: 'reset' } as const;
+  const resumed = getOrder(harness.post({ ...toEvent(order), kind: 'attempt-failed', failure }));
+  t.deepEqual(resumed.address, continuation.address);
+});
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -4,6 +4,7 @@
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { endAttempt, takeFromBudget } from './retrying.js';
+import type { AttemptEnd } from './retrying.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { Millis } from '../../core/clock.js';
@@ -94,9 +95,8 @@
   const plan = planContinuation(forwarding, attempt, context);
   if (plan === null) return [describe('no-endpoint'), nextCheck];
   if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
-  // A copy can be used once, and the continuation uses it even if this attempt goes on.
+  // The continuation uses the copy, so the end of this attempt must not release it.
   attempt.copy = null;
-  attempt.backup = null;
   return [
     describe('continued'),
     ...openContinuation(forwarding, plan, context),
@@ -105,6 +105,11 @@
   ];
 };
 
+const toSilentEnd = (attempt: Attempt, { inputs }: RequestsContext): AttemptEnd => {
+  const silentMs = Math.round(inputs.clock.now() - attempt.lastEventAt);
+  return { kind: 'silent', message: `no event for ${silentMs.toString()} ms` };
+};
+
 /**
  * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed.
  *
@@ -122,10 +127,41 @@
   if (others.length === 0) return [];
   const isContinued = others.some(({ phase }) => phase !== 'connecting');
   if (!isContinued) return [scheduleOverlapEnd(forwarding, attempt)];
-  const silentMs = Math.round(context.inputs.clock.now() - attempt.lastEventAt);
-  const end = { kind: 'silent', message: `no event for ${silentMs.toString()} ms` } as const;
   return [
     { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
-    ...endAttempt(forwarding, attempt, end, context),
+    ...endAttempt(forwarding, attempt, toSilentEnd(attempt, context), context),
   ];
 };
+
+/**
+ * Ends the attempts beside the one whose event came first: the silent endpoint when the continuation
+ * answers, or the continuation when the endpoint goes on.
+ *
+ * @param forwarding - request with a stream
+ * @param winner - attempt that goes on
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const endOverlap = (
+  forwarding: Forwarding,
+  winner: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const others = [...forwarding.attempts.values()].filter((attempt) => attempt !== winner);
+  return others.flatMap((other) => {
+    const cancel = {
+      kind: 'cancel-attempt',
+      key: forwarding.request.key,
+      attempt: other.number,
+    } as const;
+    if (other.events > 0) {
+      return [cancel, ...endAttempt(forwarding, other, toSilentEnd(other, context), context)];
+    }
+    forwarding.attempts.delete(other.number);
+    if (other.phase === 'connecting') return [cancel];
+    // It may have begun to run the request, and a copy can be used only once.
+    forwarding.possibleRuns += 1;
+    if (winner.backup?.id === other.endpoint.id) winner.backup = null;
+    return [cancel];
+  });
+};
