Check the end of a stream in one place

Callers could see an empty answer, or a stream that ends early, that looks complete: the end of a stream was judged in two places, and the one for a source that no longer runs the generation did not ask whether any event had come.

Change: one function says what a stream lacks, and both places use it.

Evidence: "a stream that ends without an event during the order to stop it is not complete" failed before.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -11,13 +11,14 @@
 import { finishStream, sendWholeAnswer } from './outcomes.js';
 import { endAttempt } from './retrying.js';
 import { endOverlap } from './silence.js';
+import { findMissingPart } from './streamEnd.js';
 import { checkStreamEnd } from './transfers.js';
 import type { AttemptEnd } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
-import { hasOnlyComments, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
+import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
 import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
 import type { GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
@@ -253,11 +254,8 @@
   // The source of a transfer closes its stream, which for this framing looks like the end.
   if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt, 'ended') === 'wait')
     return [];
-  const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
-  // Only with a framing does the end of a continuation without events mean that nothing was left.
-  const isUnproven = attempt.events === 0 && attempt.head?.framing === 'until-close';
-  if (isInsideEvent || isUnproven || forwarding.delivered === 'nothing') {
-    const place = isInsideEvent ? 'inside an event' : 'without an event';
+  const place = findMissingPart(forwarding, attempt);
+  if (place !== null) {
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
   }
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -7,7 +7,7 @@
   SIGNED_HEAD,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
-import { DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
+import { buildEndpoint, DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GenerationDemand } from '../../decisions/forwarding/types.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
 import type { AnswerHead, TransferResult } from '../types.js';
@@ -107,6 +107,22 @@
   t.is(harness.countOpen(), 0);
 });
 
+// Guards against an empty answer that looks complete when such a stream ends before its first event.
+test('a stream that ends without an event during the order to stop it is not complete', (t) => {
+  const harness = createRequestsHarness();
+  harness.endpoints.splice(1, 2);
+  const [order] = findAttemptOrders(harness.sendRequest('/memo/1')) as [AttemptOrder];
+  const head = { ...SIGNED_HEAD, requestId: 'r-1', framing: 'until-close' } as const;
+  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'answer-started', head });
+  harness.endpoints.push(buildEndpoint('e-2'));
+  postLeaving(harness);
+  endStep(harness, order, { ...COPIED, events: 0 });
+  t.deepEqual(harness.post({ ...toEvent(order), kind: 'answer-ended' }), []);
+  const effects = endStep(harness, order, { kind: 'not-running' });
+  t.is(findEffect(effects, 'end-answer'), undefined);
+});
+
 // Guards against copies that delay each other on the network link of the leaving engine.
 test('generations of one engine are transferred one at a time', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -12,6 +12,7 @@
 } from './constants.js';
 import { finishStream } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { findMissingPart } from './streamEnd.js';
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
@@ -19,7 +20,6 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
-import { hasOnlyComments } from '../../decisions/forwarding/eventSplitter.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
@@ -281,8 +281,7 @@
   context: RequestsContext,
 ): Effects => {
   const { attempt, forwarding } = run;
-  const isInsideEvent = !hasOnlyComments(attempt.splitter.rest);
-  if (attempt.streamState !== 'ended' || isInsideEvent) {
+  if (attempt.streamState !== 'ended' || findMissingPart(forwarding, attempt) !== null) {
     return failTransfer(run, transfer, 'not-running', context);
   }
   forwarding.attempts.delete(attempt.number);
