Go on with the drain when the frontend is restarted

Callers could see: a gateway that was ordered to stop reported that it was ready again, took long requests, and was killed with all of them at the end of its grace period.

Cause: frontend is the last child of a rest-for-one supervisor, so the failure of any child restarts it, and its state began as accepting. Class: a state whose source is outside the child was not rebuilt from it.

Change: the order to stop outlives the child, which goes on with the drain from its instant.

--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -10,12 +10,19 @@
 import { createVirtualClock } from '../../core/clock.js';
 import type { FrontendEvent } from '../events.js';
 
-const createHarness = (open: { count: number }) => {
+const createHarness = (open: { count: number }, stopOrderedAt: number | null = null) => {
   const clock = createVirtualClock(0);
-  const logic = createGateLogic({ clock, getGraceMs: () => 8_000, countOpen: () => open.count });
-  let state: GateState = logic.init().state;
+  const logic = createGateLogic({
+    clock,
+    getStopOrderedAt: () => stopOrderedAt,
+    getGraceMs: () => 8_000,
+    countOpen: () => open.count,
+  });
+  const first = logic.init();
+  let { state }: { state: GateState } = first;
   return {
     clock,
+    started: first.effects.map(({ kind }) => kind),
     getDrain: () => computeDrain(state, clock.now(), 8_000),
     post: (event: FrontendEvent) => {
       const step = logic.decide(state, event);
@@ -70,3 +77,16 @@
   t.deepEqual(harness.post(CHECKED), ['close-idle', 'schedule']);
   t.is(harness.getDrain()?.leftMs, 0);
 });
+
+// Guards against a draining daemon that reports that it is ready and is killed at the end of its grace
+// period, because its frontend was restarted meanwhile.
+test('a restarted frontend goes on with the drain', (t) => {
+  const harness = createHarness({ count: 0 }, 0);
+  harness.clock.advance(MIN_DRAIN_MS);
+  t.deepEqual(harness.getDrain(), {
+    drainedMs: MIN_DRAIN_MS,
+    leftMs: 8_000 - GRACE_MARGIN_MS - MIN_DRAIN_MS,
+  });
+  t.deepEqual(harness.started, ['schedule']);
+  t.deepEqual(harness.post(CHECKED), ['post', 'schedule']);
+});
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -24,6 +24,8 @@
 
 export interface GateInputs {
   readonly clock: Clock;
+  /** Returns when the daemon was ordered to stop; null before. It outlives the state of the child. */
+  readonly getStopOrderedAt: () => Millis | null;
   /** Returns the time from the stop signal until the platform kills the process. */
   readonly getGraceMs: () => Millis;
   /** Counts the requests whose answers have not been sent completely. */
@@ -105,7 +107,12 @@
 export const createGateLogic = (
   inputs: GateInputs,
 ): ChildLogic<GateState, FrontendEvent, GatewayEffect> => ({
-  init: () => toStep<GateState, GatewayEffect>({ phase: 'accepting' }),
+  init: () => {
+    const drainedAt = inputs.getStopOrderedAt();
+    return drainedAt === null
+      ? toStep<GateState, GatewayEffect>({ phase: 'accepting' })
+      : toStep<GateState, GatewayEffect>({ phase: 'draining', drainedAt }, NEXT_DRAIN_CHECK);
+  },
   decide: (state, event) => {
     switch (event.kind) {
       case 'caller-arrived':
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -101,6 +101,7 @@
 
   return {
     stop: async () => {
+      cradle.stopOrder.at ??= cradle.clock.now();
       responders.startDrain();
       daemon.loop.post({ to: 'frontend', kind: 'drain-started' });
       await close;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -39,7 +39,7 @@
   LiveSettings,
 } from './types.js';
 import { createSystemClock } from '../core/clock.js';
-import type { Clock } from '../core/clock.js';
+import type { Clock, Millis } from '../core/clock.js';
 import { createEventLog } from '../core/events/eventLog.js';
 import type { EventLog } from '../core/events/eventLog.js';
 import { createLineWriter } from '../core/events/lineWriter.js';
@@ -79,6 +79,8 @@
   readonly incarnation: string;
   /** Live settings; `current` is replaced when the settings file changes. */
   readonly live: { current: LiveSettings };
+  /** Instant at which the daemon was ordered to stop; null before. */
+  readonly stopOrder: { at: Millis | null };
   readonly states: GatewayStates;
   readonly events: EventLog;
   readonly metrics: DeferredMetrics;
@@ -243,6 +245,7 @@
     feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
     frontend: createGateLogic({
       clock,
+      getStopOrderedAt: () => cradle.stopOrder.at,
       getGraceMs: () => live.current.graceMs,
       countOpen: () => cradle.responders.count() + cradle.connections.countUnsent(),
     }),
@@ -303,6 +306,7 @@
   container.register({
     settings: asValue(settings),
     live: asValue({ current: settings.live }),
+    stopOrder: asValue({ at: null }),
     ports: asValue(ports),
     onEnd: asValue(onEnd),
     clock: asFunction(createSystemClock).singleton(),
