End a drain well before the end of the grace period

Callers could see: answers that were cut by SIGKILL in the last moments of a drain.

Cause: the drain ends in three steps, each noticed up to one check of 100 ms late. With late timers the last one came at 7.9 to 8.0 s of 8 s.

Evidence: "a busy daemon ends within its grace period when each check comes late" failed before.

--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -7,8 +7,11 @@
 /** Interval at which a draining daemon checks whether requests are in progress. */
 export const DRAIN_CHECK_MS = 100;
 
-/** Time before the end of the grace period at which a draining daemon stops in any case. */
-export const GRACE_MARGIN_MS = 500;
+/**
+ * Time before the end of the grace period at which a draining daemon stops in any case: the times for
+ * the last answers and bytes, each up to a check later, and a reserve for late timers.
+ */
+export const GRACE_MARGIN_MS = 800;
 
 /** Time for sending the last answers before the idle connections are closed. */
 export const FINAL_ANSWER_GRACE_MS = 100;
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
   CLOSE_IDLE_GRACE_MS,
+  DRAIN_CHECK_MS,
   FINAL_ANSWER_GRACE_MS,
   GRACE_MARGIN_MS,
   MIN_DRAIN_MS,
@@ -32,6 +33,12 @@
   };
 };
 
+/** Time by which a timer of a busy daemon is late. */
+const LATE_TIMER_MS = 10;
+
+/** Time for closing the servers and ending the process. */
+const RESERVE_MS = 150;
+
 const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
 
 // Guards against a daemon that ends before the load balancer has noticed its drain, which breaks
@@ -78,6 +85,19 @@
   t.is(harness.getDrain()?.leftMs, 0);
 });
 
+// Guards against a daemon that is killed in the middle of its last answers, because each step of the
+// end of its drain is noticed a check later.
+test('a busy daemon ends within its grace period when each check comes late', (t) => {
+  const harness = createHarness({ count: 3 });
+  harness.post({ to: 'frontend', kind: 'drain-started' });
+  let kinds: readonly string[] = [];
+  while (!kinds.includes('end-process')) {
+    harness.clock.advance(DRAIN_CHECK_MS + LATE_TIMER_MS);
+    kinds = harness.post(CHECKED);
+  }
+  t.true(harness.clock.now() <= 8_000 - RESERVE_MS);
+});
+
 // Guards against a draining daemon that reports that it is ready and is killed at the end of its grace
 // period, because its frontend was restarted meanwhile.
 test('a restarted frontend goes on with the drain', (t) => {
