Hold a newer move order when a restored store has an older one

Callers could see: requests at an unproven version, because the copy from which the store was restored has an earlier order of the same service, which replaced the newer one that the gateway had read.

Cause: only a missing order was held; an older one counted as current.

Change: an order that the copy lacks or has in another version is held beside the one of the copy, and the target versions of both get no requests, until the service's order is written again or withdrawn, or the hold is over.

--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -8,6 +8,7 @@
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import { chooseByRendezvous } from '../../decisions/membership/rendezvous.js';
 import type { StringHash } from '../../decisions/membership/rendezvous.js';
+import { isMoveTarget } from '../moves/moves.js';
 import type { MovesState } from '../moves/moves.js';
 import { countPeerRequests, listPeerProcesses, sumPeerLoad } from '../peers/fleet.js';
 import type { PeersState } from '../peers/fleet.js';
@@ -81,7 +82,7 @@
   for (const known of membership.endpoints.values()) {
     const { health, record, recordedAt, statedLoad } = known;
     if (record.service !== service || membership.dataCentresOut.has(record.dataCentre)) continue;
-    if (record.version === moves.orders.get(service)?.targetVersion) continue;
+    if (isMoveTarget(moves, service, record.version)) continue;
     const own = ownLoads.get(record.id) ?? NO_LOAD;
     const isCold = now < recordedAt + record.coldForMs;
     candidates.push({
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -12,10 +12,16 @@
 export interface MovesState {
   readonly orders: ReadonlyMap<ServiceName, MoveOrder>;
   /**
-   * Services whose order is missing from the copy from which the store was restored, with the
-   * instants at which that was read.
+   * Orders that the copy from which the store was restored lacks, or has in another version. They
+   * still count beside those of the copy, as either may be the newer one.
    */
-  readonly held: ReadonlyMap<ServiceName, Millis>;
+  readonly held: ReadonlyMap<ServiceName, HeldOrder>;
+}
+
+/** Order that a restored store lacks, with the instant at which that was read. */
+export interface HeldOrder {
+  readonly order: MoveOrder;
+  readonly heldAt: Millis;
 }
 
 /**
@@ -53,54 +59,68 @@
   },
 ];
 
-/** Lists the known orders that a load without them does not withdraw. */
-const listRemaining = (
-  { held, orders }: MovesState,
-  scope: MovesChanged['scope'],
-): readonly MoveOrder[] => {
-  switch (scope) {
-    case 'changed':
-    case 'restored':
-      return [...orders.values()];
-    case 'all':
-      return [...orders.values()].filter(({ service }) => held.has(service));
-    default:
-      return assertNever(scope);
-  }
-};
-
 /** Applies the records in the order of the feed, in which one may replace the one before. */
 const applyChanges = (
   state: MovesState,
   { changes, scope }: MovesChanged,
   now: Millis,
 ): Step<MovesState, GatewayEffect> => {
-  const orders = new Map(listRemaining(state, scope).map((order) => [order.service, order]));
+  const orders = new Map(scope === 'changed' ? state.orders : []);
   const held = new Map(state.held);
-  const missing = new Map(scope === 'restored' ? orders : []);
   for (const change of changes) {
-    const service = change.kind === 'move-ordered' ? change.order.service : change.service;
-    held.delete(service);
-    missing.delete(service);
-    if (change.kind === 'move-ordered') orders.set(service, change.order);
+    const isOrdered = change.kind === 'move-ordered';
+    const service = isOrdered ? change.order.service : change.service;
+    if (isOrdered) orders.set(service, change.order);
     else orders.delete(service);
+    // A load may still return the record of the copy; any other one was written after it.
+    const isFromCopy =
+      scope !== 'changed' && isOrdered && isSameOrder(change.order, state.orders.get(service));
+    if (scope !== 'restored' && !isFromCopy) held.delete(service);
+  }
+  const missing = scope === 'restored' ? listMissing(state, orders) : [];
+  for (const order of missing) held.set(order.service, { order, heldAt: now });
+  for (const { order } of [...held.values()]) {
+    if (isSameOrder(order, orders.get(order.service))) held.delete(order.service);
   }
-  for (const service of missing.keys()) held.set(service, now);
-  return {
-    state: { orders, held },
-    effects: [...missing.values()].flatMap((order) => holdOrder(order, now)),
-  };
+  return { state: { orders, held }, effects: missing.flatMap((order) => holdOrder(order, now)) };
 };
 
+const isSameOrder = (order: MoveOrder, other: MoveOrder | undefined): boolean =>
+  order.targetVersion === other?.targetVersion;
+
+/** Lists the known orders that the copy lacks, or has in another version. */
+const listMissing = (
+  known: MovesState,
+  copy: ReadonlyMap<ServiceName, MoveOrder>,
+): readonly MoveOrder[] =>
+  [...known.orders.values(), ...[...known.held.values()].map(({ order }) => order)].filter(
+    (order) => !isSameOrder(order, copy.get(order.service)),
+  );
+
 const endHold = (state: MovesState, service: ServiceName, heldAt: Millis): MovesState => {
-  if (state.held.get(service) !== heldAt) return state;
-  const orders = new Map(state.orders);
+  if (state.held.get(service)?.heldAt !== heldAt) return state;
   const held = new Map(state.held);
-  orders.delete(service);
   held.delete(service);
-  return { orders, held };
+  return { ...state, held };
 };
 
+/**
+ * Reports whether a service is being moved to a version, by an order in force or by one that a
+ * restored store lacks.
+ *
+ * @param state - orders
+ * @param service - service of the endpoint
+ * @param version - version of the endpoint
+ * @returns true when the version is the target of an order
+ */
+export const isMoveTarget = (
+  { held, orders }: MovesState,
+  service: ServiceName,
+  version: string,
+): boolean =>
+  orders.get(service)?.targetVersion === version ||
+  held.get(service)?.order.targetVersion === version;
+
 const decideMoves = (
   state: MovesState,
   event: MovesEvent,
@@ -118,8 +138,9 @@
 
 /**
  * Creates the decision logic of the `moves` child, which keeps the orders to move services to other
- * versions. An order that is missing from a restored store still counts until it is withdrawn, but
- * for `MISSING_ORDER_HOLD_MS` at most unless it is written again.
+ * versions. An order that is missing from a restored store, or replaced there by another one, still
+ * counts until the service's order is written again or withdrawn, but for `MISSING_ORDER_HOLD_MS` at
+ * most.
  *
  * @param clock - source of the instants of holds
  * @param newest - newest orders, updated by this child only
