Answer whole requests when the drain of an entry daemon ends

Callers saw: a whole answer that outlasts the drain and the hand-over got neither an answer nor a refusal, and the entry daemon did not end: the server waits for its open requests, and the loop that would end them had been stopped.

Cause: the end of the drain hands streams over and leaves everything else open.

Change: what is left open is answered with the verdict may-have-run before the server is closed.

Evidence: "a whole answer that outlasts the drain time is answered with an error".

--- a/packages/cluster/gracefulShutdown.promise.test.ts
+++ b/packages/cluster/gracefulShutdown.promise.test.ts
@@ -80,3 +80,27 @@
     t.deepEqual(await exit, { code: 0, signal: null });
   },
 );
+
+// Guards against a whole answer that outlasts the drain of its entry daemon: its caller got neither an
+// answer nor a refusal, and the process did not end.
+test.serial('a whole answer that outlasts the drain time is answered with an error', async (t) => {
+  const cluster = await startTestCluster({ drainMs: 1_000 });
+  t.teardown(cluster.stop);
+  const baseUrl = cluster.entryUrls[0] ?? '';
+  const { key } = buildCallerTarget(cluster, baseUrl);
+  const answer = fetch(`${baseUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: cluster.model,
+      messages: [{ role: 'user', content: 'memo' }],
+      max_tokens: 4_000,
+      metadata: { target_tokens: '4000' },
+    }),
+  });
+  const [stream] = await startStreams(cluster, baseUrl, 1);
+  await stream?.waitForChunks(5);
+  const exit = cluster.findProcess('entry-1').kill('SIGTERM');
+  t.is((await answer).status, 502);
+  t.deepEqual(await exit, { code: 0, signal: null });
+});
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -1,7 +1,14 @@
 import { wireEntryDaemon } from './wiring.js';
 import type { EndReason } from './wiring.js';
+import { createFailure } from '../core/verdict.js';
 import type { EntrySettings } from '../settings/types.js';
 
+const ENDED_BEFORE_ANSWER = createFailure(
+  'may-have-run',
+  'endpoint-lost',
+  'the entry daemon ends before the answer is complete',
+);
+
 /** Handle of a daemon that runs in this process. */
 export interface RunningDaemon {
   readonly urls: Readonly<Record<string, string>>;
@@ -34,6 +41,8 @@
     const left = reason.kind === 'drained' ? reason.left : 0;
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     daemon.stop();
+    // Whole answers cannot be handed over, and the server waits for its open requests.
+    cradle.responders.failAll(ENDED_BEFORE_ANSWER);
     cradle.endpoints.close();
     await cradle.platform.close();
     await callers.close();
