Do not count an endpoint as unreachable because the process itself was stalled

Callers saw: refusals for lack of an endpoint ("no endpoint of the service is available") although the endpoint was sound.

Cause: Node runs timers before it reads sockets. A process that got no processor time for the connect timeout of 250 ms ended an attempt whose connection was established, and avoided the endpoint for a second.

Change: after the timeout, all sockets are read once more before the attempt or the probe ends.

"a connection that was established while the process was stalled counts" failed before.

--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -4,14 +4,17 @@
 import type { ExecutionContext } from 'ava';
 import { createEndpointClient } from './endpointClient.js';
 import { buildOrder, CODEC } from './endpointClient.fixture.js';
+import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { RequestsEvent } from '../events.js';
 
 /**
- * Sends one attempt to a server that runs `script` on its socket; resolves to the posted events.
+ * Sends one attempt to a server that runs `script` on its socket, and calls `onOpened` when the
+ * connection has been requested; resolves to the posted events.
  */
 const runAttempt = async (
   t: ExecutionContext,
   script: (socket: Socket) => void,
+  onOpened: () => void = () => undefined,
 ): Promise<readonly RequestsEvent[]> => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
@@ -30,6 +33,8 @@
       if (event.kind === 'answer-ended' || event.kind === 'attempt-failed') resolve();
     });
     client.open(buildOrder((server.address() as AddressInfo).port));
+    // The connection is requested in the first tick.
+    process.nextTick(onOpened);
   });
   return events;
 };
@@ -39,6 +44,12 @@
     .map((event) => (event.kind === 'answer-continued' ? Buffer.from(event.bytes).toString() : ''))
     .join('');
 
+/** Blocks the event loop, as a process without processor time does. */
+const holdLoop = (durationMs: number): void => {
+  const cell = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  Atomics.wait(cell, 0, 0, durationMs);
+};
+
 const NO_LENGTH = 'HTTP/1.1 200 OK\r\n\r\n';
 
 // Guards against a truncated answer that counts as complete: without a length, only the reset of
@@ -109,3 +120,19 @@
   const [first] = events;
   t.is(first?.kind === 'attempt-failed' ? first.failure.kind : '', 'unreachable');
 });
+
+// Guards against sound endpoints that count as unreachable because the process itself got no processor
+// time while the connection was established, and against the refusals that follow.
+test('a connection that was established while the process was stalled counts', async (t) => {
+  const events = await runAttempt(
+    t,
+    (socket) => {
+      socket.end(`${NO_LENGTH}whole`);
+    },
+    () => {
+      holdLoop(CONNECT_TIMEOUT_MS * 2);
+    },
+  );
+  t.is(events[0]?.kind, 'attempt-sent');
+  t.is(events.at(-1)?.kind, 'answer-ended');
+});
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { MAX_INTERIM_ANSWERS, MAX_OVERHEAD_BYTES } from './constants.js';
+import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
 import type { AttemptFailure, AttemptOrder, ProbeResult, RequestsEvent } from '../events.js';
@@ -44,8 +45,11 @@
       socket.destroy();
       resolve(result);
     };
+    // A timer that is late for lack of processor time may come before a connection is noticed.
     const timer = setTimeout(() => {
-      finish('silent');
+      runAfterReads(() => {
+        finish('silent');
+      });
     }, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       finish('reachable');
@@ -111,7 +115,10 @@
     });
     running.set(attemptId, outgoing);
     const connectTimer = setTimeout(() => {
-      outgoing.destroy(new Error('the connection was not established in time'));
+      runAfterReads(() => {
+        if (phase !== 'connecting') return;
+        outgoing.destroy(new Error('the connection was not established in time'));
+      });
     }, CONNECT_TIMEOUT_MS);
 
     outgoing.on('socket', (socket) => {
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -10,7 +10,7 @@
 import { createIdleConnections } from './idleConnections.js';
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
-import { runAfterReads } from './runAfterReads.js';
+import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
--- a/packages/gateway/frontend/idleConnections.ts
+++ b/packages/gateway/frontend/idleConnections.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { IDLE_MARGIN_MS } from './constants.js';
-import { runAfterReads } from './runAfterReads.js';
+import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import type { Millis } from '../../core/clock.js';
 
 export interface IdleConnections {
