--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -115,7 +115,7 @@
       if (terminated.exitCode !== null || terminated.signalCode !== null) return;
       const detail = `${spec.name} is still running after its grace period`;
       options.onFinding({ promise: 'process-ends', detail });
-      phase = 'killed';
+      // The phase stays `ending`, so that the gateway is started again and the soak can end.
       terminated.kill('SIGKILL');
     }, GRACE_MS + KILL_MARGIN_MS);
     terminated.once('exit', () => {
