Request a stored answer again when its endpoint daemon did not reply

Cause: for a key that has run, the entry daemon asked the endpoint daemon for the answer once. One timeout of 2 s or one lost connection counted as proof that the answer is gone, while for running work the same reply is asked for until the deadline. Class: a machine that is silent for a moment is taken for one that has ended.

Change: the state of a fence request counts its tries; a replay is tried up to three times, within the deadline of the request, and then returns the digest as before. The bound keeps a caller from waiting for an endpoint that has ended.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -216,6 +216,11 @@
     level: 'info',
     text: 'A request with a repeated key received the stored answer.',
   },
+  'fence-unanswered': {
+    number: 6008,
+    level: 'warn',
+    text: 'No reply to a fence request arrived; the data gives the reason.',
+  },
   'move-started': { number: 7001, level: 'info', text: 'A version move took effect.' },
   'move-share-changed': {
     number: 7002,
--- a/packages/decisions/idempotency/constants.ts
+++ b/packages/decisions/idempotency/constants.ts
@@ -51,6 +51,7 @@
 export const DEFAULT_INTENT_LIMITS: IntentLimits = {
   settleMs: 3_000,
   pollMs: 200,
+  maxReplayTries: 3,
   takeOverAfterMs: 1_000,
   maxIntents: 3,
   maxRecordTries: 6,
--- a/packages/decisions/idempotency/fencing.ts
+++ b/packages/decisions/idempotency/fencing.ts
@@ -86,10 +86,20 @@
   }
 };
 
+/**
+ * One missing reply does not show that the answer is gone: the endpoint may be silent only for a
+ * moment. The tries are bounded because it may also have ended.
+ */
+const retryReplay = (state: Fencing, view: IntentView): IntentStep => {
+  const { limits, now } = view;
+  const isLast = state.tries >= limits.maxReplayTries || now >= state.request.deadlineAt;
+  return isLast ? replyFromChain(state, view) : schedule(state, 'poll', limits.pollMs);
+};
+
 const handleUnreachable = (state: Fencing, view: IntentView): IntentStep => {
   switch (state.purpose) {
     case 'replay':
-      return replyFromChain(state, view);
+      return retryReplay(state, view);
     case 'own-refused':
       return resumeChain(state, view);
     case 'own-unknown':
--- a/packages/decisions/idempotency/intent.ts
+++ b/packages/decisions/idempotency/intent.ts
@@ -184,7 +184,7 @@
     case 'waiting':
       return resolveChain(state, view);
     case 'fencing':
-      return fenceAtEndpoint(state, state.placement, state.purpose);
+      return fenceAtEndpoint(state, state.placement, state.purpose, state.tries + 1);
     case 'recording':
       return toStep(
         { ...state, tries: state.tries + 1 },
--- a/packages/decisions/idempotency/intentSteps.ts
+++ b/packages/decisions/idempotency/intentSteps.ts
@@ -178,12 +178,14 @@
  * @param state - state of the request
  * @param noncePlacement - the nonce and the endpoint incarnation that could start it
  * @param purpose - why the nonce is fenced; it determines the handling of the reply
+ * @param tries - number of requests for this purpose, including this one
  * @returns the fencing state
  */
 export const fenceAtEndpoint = (
   state: IntentState,
   noncePlacement: NoncePlacement,
   purpose: FencePurpose,
+  tries = 1,
 ): IntentStep =>
   toStep(
     {
@@ -192,6 +194,7 @@
       round: state.round + 1,
       placement: noncePlacement,
       purpose,
+      tries,
     },
     { kind: 'fence', ...noncePlacement },
   );
--- a/packages/decisions/idempotency/types.ts
+++ b/packages/decisions/idempotency/types.ts
@@ -227,6 +227,8 @@
   readonly settleMs: Millis;
   /** Interval between two fence requests for the same nonce. */
   readonly pollMs: Millis;
+  /** Maximum number of requests to an endpoint that does not reply, for the answer that it stores. */
+  readonly maxReplayTries: number;
   /** Minimum age at which the open intent of another request is fenced and taken over. */
   readonly takeOverAfterMs: Millis;
   /** Maximum number of intents that one request appends. */
@@ -293,6 +295,8 @@
         readonly kind: 'fencing';
         readonly placement: NoncePlacement;
         readonly purpose: FencePurpose;
+        /** Number of fence requests sent so far for this purpose. */
+        readonly tries: number;
       }
     | {
         readonly kind: 'recording';
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -161,6 +161,24 @@
   }
 };
 
+/**
+ * Builds the log line of a fence request without a reply.
+ *
+ * @param state - keyed request
+ * @param nonce - nonce of the fence request
+ * @param reason - why no reply arrived
+ * @returns the log effect
+ */
+export const logUnansweredFence = (
+  { request }: KeyedState,
+  nonce: string,
+  reason: string,
+): EntryEffect => ({
+  kind: 'log',
+  name: 'fence-unanswered',
+  details: { requestId: request.requestId, data: { nonce, reason } },
+});
+
 const fence = (
   state: KeyedState,
   effect: Extract<IntentEffect, { readonly kind: 'fence' }>,
@@ -171,7 +189,9 @@
   const url = inputs.findHeartbeat(endpoint)?.rpcUrl;
   if (url === undefined) {
     const result = { kind: 'unreachable' } as const;
-    return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
+    const step = applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
+    const logged = logUnansweredFence(state, nonce, 'the address of the endpoint is not known');
+    return { state: step.state, effects: [logged, ...step.effects] };
   }
   return toStep<KeyedState, EntryEffect>(state, {
     kind: 'fence-nonce',
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -17,6 +17,7 @@
   applyKeyedLinkCompletion,
   applyKeyedStreamEvent,
   createKeyed,
+  logUnansweredFence,
 } from './keyedRequest.js';
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
@@ -30,7 +31,7 @@
 } from './requestTable.js';
 import type { RequestsContext } from './requestTable.js';
 import { handleSuspicions } from './suspicionEffects.js';
-import type { ClassPolicy, RequestState, RequestsState } from './types.js';
+import type { ClassPolicy, KeyedState, RequestState, RequestsState } from './types.js';
 import { createWaitingQueue } from './waitingQueue.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
@@ -121,6 +122,18 @@
   return [received, ...storeStep(context, requestId, step)];
 };
 
+const applyFenceAnswer = (
+  state: KeyedState,
+  { nonce, result }: Extract<EndpointCompletion, { readonly kind: 'fence-answered' }>,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const event = { kind: 'fence-answered', nonce, result: toFenceResult(result) } as const;
+  const step = applyIntent(state, event, inputs);
+  if (result.kind !== 'unreachable') return step;
+  const logged = logUnansweredFence(state, nonce, result.reason);
+  return { state: step.state, effects: [logged, ...step.effects] };
+};
+
 const applyEndpointCompletion = (
   state: RequestState,
   completion: EndpointCompletion,
@@ -144,9 +157,7 @@
         : toStep(state);
     case 'fence-answered': {
       if (state.kind !== 'keyed') return toStep(state);
-      const { nonce } = completion;
-      const result = toFenceResult(completion.result);
-      return applyIntent(state, { kind: 'fence-answered', nonce, result }, inputs);
+      return applyFenceAnswer(state, completion, inputs);
     }
     default:
       return assertNever(completion);
