Go on with the drain when the gate of the entry or endpoint daemon is restarted

Callers could see: a daemon that was ordered to stop accepted work again and never ended by itself, so the platform killed it with that work at the end of its grace period.

Cause: the state of the gate began as accepting after each restart of the child. Class: a state whose source is outside the child was not rebuilt from it.

Change: the start of the drain outlives the child, which goes on with the drain from that instant.

--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -21,6 +21,8 @@
 /** Dependencies of the decisions on admission and drain. */
 export interface GateInputs {
   readonly now: () => Millis;
+  /** Start of the drain; null before. It outlives the state of the child. */
+  readonly drain: { startedAt: Millis | null };
   readonly drainMs: Millis;
   readonly getLease: () => LeaseState;
   /** Counts the streams and calls that have not ended. */
@@ -72,14 +74,22 @@
   return { kind: 'post', event: { to: 'engine', kind: 'admit-call', call } };
 };
 
-const startDrain = (state: GateState, reason: string, now: Millis): GateStep => {
+const NEXT_CHECK: EndpointEffect = {
+  kind: 'schedule',
+  delayMs: DRAIN_CHECK_MS,
+  event: { to: 'rpc', kind: 'drain-checked' },
+};
+
+const startDrain = (state: GateState, reason: string, inputs: GateInputs): GateStep => {
   if (state.phase !== 'accepting') return toStep(state);
+  const since = inputs.now();
+  inputs.drain.startedAt = since;
   return toStep<GateState, EndpointEffect>(
-    { phase: 'draining', since: now },
+    { phase: 'draining', since },
     { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
     // Entry daemons are notified at once; the next regular heartbeat may be half a second away.
     { kind: 'post', event: { to: 'heartbeats', kind: 'extra-heartbeat-due' } },
-    { kind: 'schedule', delayMs: DRAIN_CHECK_MS, event: { to: 'rpc', kind: 'drain-checked' } },
+    NEXT_CHECK,
   );
 };
 
@@ -87,13 +97,7 @@
   if (state.phase !== 'draining') return toStep(state);
   const left = inputs.countOpenWork();
   const isOver = inputs.now() - state.since >= inputs.drainMs;
-  if (left > 0 && !isOver) {
-    return toStep<GateState, EndpointEffect>(state, {
-      kind: 'schedule',
-      delayMs: DRAIN_CHECK_MS,
-      event: { to: 'rpc', kind: 'drain-checked' },
-    });
-  }
+  if (left > 0 && !isOver) return toStep(state, NEXT_CHECK);
   return toStep<GateState, EndpointEffect>({ phase: 'ended' }, { kind: 'end-process', left });
 };
 
@@ -107,7 +111,12 @@
 export const createGateLogic = (
   inputs: GateInputs,
 ): ChildLogic<GateState, RpcEvent, EndpointEffect> => ({
-  init: () => toStep<GateState, EndpointEffect>({ phase: 'accepting' }),
+  init: () => {
+    const since = inputs.drain.startedAt;
+    return since === null
+      ? toStep<GateState, EndpointEffect>({ phase: 'accepting' })
+      : toStep<GateState, EndpointEffect>({ phase: 'draining', since }, NEXT_CHECK);
+  },
   decide: (state, event) => {
     switch (event.kind) {
       case 'generate-requested':
@@ -115,7 +124,7 @@
       case 'call-requested':
         return toStep(state, handleCall(state, event.call, inputs));
       case 'drain-started':
-        return startDrain(state, event.reason, inputs.now());
+        return startDrain(state, event.reason, inputs);
       case 'drain-checked':
         return checkDrain(state, inputs);
       default:
--- a/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
+++ b/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
@@ -53,7 +53,8 @@
   let interrupted = 0;
   const ends: number[] = [];
   const countOpenWork = (): number => ends.filter((end) => end > now).length;
-  const inputs = { now: () => now, drainMs, getLease: () => LEASE, countOpenWork };
+  const drain = { startedAt: null };
+  const inputs = { now: () => now, drain, drainMs, getLease: () => LEASE, countOpenWork };
   const logic = createGateLogic(inputs);
   let { state } = logic.init();
   const apply = (event: RpcEvent): readonly EndpointEffect[] => {
@@ -118,3 +119,27 @@
     t.true(fc.check(property, { seed: SEED, numRuns: RUNS }).failed);
   }
 });
+
+// Guards against a draining daemon that accepts work again and never ends, because its rpc child was
+// restarted meanwhile.
+test('a restarted rpc child goes on with the drain', (t) => {
+  let now = 0;
+  const logic = createGateLogic({
+    now: () => now,
+    drain: { startedAt: null },
+    drainMs: MAX_WORK_MS,
+    getLease: () => LEASE,
+    countOpenWork: () => 1,
+  });
+  const first = logic.init();
+  t.deepEqual(first, { state: { phase: 'accepting' }, effects: [] });
+  logic.decide(first.state, { to: 'rpc', kind: 'drain-started', reason: 'test' });
+  const restarted = logic.init();
+  t.deepEqual(restarted.state, { phase: 'draining', since: 0 });
+  t.deepEqual(
+    restarted.effects.map(({ kind }) => kind),
+    ['schedule'],
+  );
+  now = MAX_WORK_MS;
+  t.is(logic.decide(restarted.state, { to: 'rpc', kind: 'drain-checked' }).state.phase, 'ended');
+});
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -172,6 +172,7 @@
     }),
     rpc: createGateLogic({
       now,
+      drain: { startedAt: null },
       drainMs: settings.drainMs,
       getLease: () => states.heartbeats.lease,
       countOpenWork: () => states.streams.readers.size + states.calls.running.size,
--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -19,6 +19,8 @@
 /** Dependencies of the decisions on admission and drain. */
 export interface GateInputs {
   readonly now: () => Millis;
+  /** Start of the drain; null before. It outlives the state of the child. */
+  readonly drain: { startedAt: Millis | null };
   /** Time in which open requests can finish before streams are handed over. */
   readonly drainMs: Millis;
   /** Time after the hand-over in which calls can finish, since they cannot be handed over. */
@@ -43,10 +45,12 @@
   return { kind: 'fail-request', requestId: request.requestId, failure };
 };
 
-const startDrain = (state: GateState, reason: string, now: Millis): GateStep => {
+const startDrain = (state: GateState, reason: string, inputs: GateInputs): GateStep => {
   if (state.phase !== 'accepting') return toStep(state);
+  const since = inputs.now();
+  inputs.drain.startedAt = since;
   return toStep<GateState, EntryEffect>(
-    { phase: 'draining', since: now },
+    { phase: 'draining', since },
     { kind: 'log', name: 'daemon-stopping', details: { data: { reason } } },
     NEXT_CHECK,
   );
@@ -88,13 +92,18 @@
 export const createGateLogic = (
   inputs: GateInputs,
 ): ChildLogic<GateState, FrontendEvent, EntryEffect> => ({
-  init: () => toStep<GateState, EntryEffect>({ phase: 'accepting' }),
+  init: () => {
+    const since = inputs.drain.startedAt;
+    return since === null
+      ? toStep<GateState, EntryEffect>({ phase: 'accepting' })
+      : toStep<GateState, EntryEffect>({ phase: 'draining', since }, NEXT_CHECK);
+  },
   decide: (state, event) => {
     switch (event.kind) {
       case 'request-arrived':
         return toStep(state, handleArrival(state, event.request));
       case 'drain-started':
-        return startDrain(state, event.reason, inputs.now());
+        return startDrain(state, event.reason, inputs);
       case 'drain-checked':
         return checkDrain(state, inputs);
       default:
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -184,6 +184,7 @@
     requests: createRequestsLogic(requestsInputs),
     frontend: createGateLogic({
       now,
+      drain: { startedAt: null },
       drainMs: settings.drainMs,
       handOverGraceMs: HAND_OVER_GRACE_MS,
       countOpen: () => states.requests.table.size,
