Give a missing worker its whole time again after a second restore

Callers could see: refusals, and generations moved away from sound workers, after a store that was restored twice within 2.5 s.

Cause: a worker that the copy lacks has 2.5 s to register again. A second restore within that time found its removal pending and kept the timer of the first one, so that as little as nothing of the time was left.

Change: a pending removal counts only if it was read after the newest outage or restore. Reading it again without a new one does not start the time again, which a test of its own guards.

--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -80,6 +80,19 @@
   t.deepEqual(harness.list(), ['e-2']);
 });
 
+// Guards against an endpoint that is never removed because each read of its removal starts the delay
+// again.
+test('a removal that is read again after the same outage does not start the delay again', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
+  harness.change([removal], 'changed', UNCERTAIN);
+  harness.clock.advance(1_000);
+  t.deepEqual(harness.change([removal], 'changed', UNCERTAIN), []);
+  harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
+  t.deepEqual(harness.list(), []);
+});
+
 // Guards against generations that stay on an endpoint which renewed its registration after an
 // outage of the store and then stopped: that removal was not caused by the outage.
 test('the removal of a registration that was renewed after the outage is certain', (t) => {
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -198,6 +198,18 @@
   }
 };
 
+/** Reports whether the removal is already due, after the newest outage or restore of the store. */
+const hasPendingRemoval = ({ removedAt }: KnownEndpoint, removals: RemovalCertainty): boolean => {
+  switch (removals.kind) {
+    case 'certain':
+      return false;
+    case 'uncertain':
+      return removedAt !== null && removedAt >= removals.since;
+    default:
+      return assertNever(removals);
+  }
+};
+
 const removeEndpoint = (
   state: MembershipState,
   id: EndpointId,
@@ -208,7 +220,7 @@
   const known = endpoints.get(id);
   if (known === undefined) return [];
   if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, 'certain', now);
-  if (known.removedAt !== null) return [];
+  if (hasPendingRemoval(known, removals)) return [];
   endpoints.set(id, { ...known, removedAt: now });
   return [
     {
