Keep what was written about quarantines over a restart of their child

Callers could see: requests that crash engines again after all gateways ended, and sound requests that are refused, after a restore of the store that lost a quarantine or its end.

Cause: the supervisor starts a failed quarantine child without its state. It then knew neither what to write again after a restore nor the quarantines themselves, so a write that was already scheduled found nothing to write; and it loaded from the older copy a quarantine whose end it had written.

Change: the writes of the process outlive the child, with the crashes on which they are based. A restarted child builds its evidence from them. The epoch to which they were repeated outlives it, too, so that a restart does not repeat them once more.

--- a/packages/gateway/quarantine/quarantine.test.ts
+++ b/packages/gateway/quarantine/quarantine.test.ts
@@ -2,6 +2,7 @@
 import { MAX_REMEMBERED_WRITES, REWRITE_SPREAD_MS, STORE_RETRY_MS } from './constants.js';
 import { createQuarantineLogic } from './quarantine.js';
 import type { QuarantineRecord } from './types.js';
+import { createQuarantineWrites } from './writes.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
 import { CORRELATED_CRASH_MS, CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
@@ -13,7 +14,11 @@
 
 const createHarness = () => {
   const clock = createVirtualClock(5_000);
-  const logic = createQuarantineLogic({ clock, random: createRandomSource(7) });
+  const logic = createQuarantineLogic({
+    clock,
+    random: createRandomSource(7),
+    writes: createQuarantineWrites(),
+  });
   let { state } = logic.init();
   const post = (event: QuarantineEvent): readonly GatewayEffect[] => {
     const step = logic.decide(state, event);
@@ -31,13 +36,17 @@
       content,
     });
   };
+  const restart = (): void => {
+    ({ state } = logic.init());
+  };
   return {
     clock,
     post,
     recordCrash,
+    restart,
     init: () => logic.init().effects,
     buildFullReport: () => buildCrashMessage(state.evidence, 'quarantines', clock.now()),
-    check: () => checkContent(state.evidence, CONTENT, clock.now()).kind,
+    check: (content = CONTENT) => checkContent(state.evidence, content, clock.now()).kind,
   };
 };
 
@@ -166,6 +175,27 @@
   t.deepEqual(harness.post({ ...RESTORED, epoch: 3 }), []);
 });
 
+// Guards against sound requests that a daemon refuses because its restarted child loads a quarantine
+// from the store that lacks its end, and against a fleet that writes a quarantine again and again.
+test('a restarted child knows its quarantines, their ends and to which store it wrote them', (t) => {
+  const harness = createHarness();
+  const ended = { whole: null, parts: ['m/ended'] };
+  harness.recordCrash('e-1', ended);
+  const [record] = findRecords(harness.recordCrash('e-2', ended));
+  harness.post({ to: 'quarantine', kind: 'answer-observed', fingerprints: ended.parts });
+  for (const endpoint of ['e-3', 'e-4']) harness.recordCrash(endpoint);
+  t.is(listTimers(harness.post(RESTORED)).length, 2);
+  harness.restart();
+  t.is(harness.check(), 'quarantined');
+  t.is(harness.check(ended), 'accepted');
+  if (record !== undefined) harness.post(load([record]));
+  t.is(harness.check(ended), 'accepted');
+  t.deepEqual(harness.post(RESTORED), []);
+  harness.clock.advance(CRASH_RETENTION_MS);
+  harness.restart();
+  t.is(harness.check(), 'accepted');
+});
+
 // Guards against a quarantine that comes back in the store because it ended, or began again, between
 // the restore and the write.
 test('a repeated write has the newest state of its quarantine', (t) => {
--- a/packages/gateway/quarantine/quarantine.ts
+++ b/packages/gateway/quarantine/quarantine.ts
@@ -1,21 +1,20 @@
 import {
   MAX_OBSERVED_CRASHES,
-  MAX_REMEMBERED_WRITES,
   MAX_STORED_CRASHES,
   REWRITE_SPREAD_MS,
   STORE_RETRY_MS,
 } from './constants.js';
 import type { QuarantineLoad } from './types.js';
+import { buildWrittenEvidence, recordWrite } from './writes.js';
+import type { QuarantineWrite, QuarantineWrites } from './writes.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { RandomSource } from '../../core/random.js';
 import { toStep } from '../../core/step.js';
-import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
 import {
   addCrash,
   addSurvival,
-  createCrashEvidence,
   isQuarantined,
   selectSuspects,
 } from '../../decisions/quarantine/crashEvidence.js';
@@ -31,21 +30,13 @@
   readonly evidence: CrashEvidence;
   /** Endpoints whose crash this daemon observed itself, oldest first. */
   readonly observed: Set<string>;
-  /** Newest writes of this daemon to the store, oldest first. */
-  readonly writes: Map<Fingerprint, QuarantineWrite>;
-  /** Epoch of the store to which the writes were repeated; null before the first restore. */
-  readonly rewrittenEpoch: StoreEpoch;
-}
-
-/** Write of a quarantine or of its end. */
-interface QuarantineWrite {
-  readonly kind: 'saved' | 'removed';
-  readonly at: Millis;
+  readonly writes: QuarantineWrites;
 }
 
 interface QuarantineInputs {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly writes: QuarantineWrites;
 }
 
 /** How a daemon learnt of a quarantine. */
@@ -103,28 +94,16 @@
     observed.has(endpoint),
   );
 
-const recordWrite = (
-  { writes }: QuarantineState,
-  fingerprint: Fingerprint,
-  write: QuarantineWrite,
-): void => {
-  writes.delete(fingerprint);
-  writes.set(fingerprint, write);
-  const [oldest] = writes.keys();
-  if (writes.size > MAX_REMEMBERED_WRITES && oldest !== undefined) writes.delete(oldest);
-};
-
 const storeQuarantine = (
   state: QuarantineState,
   fingerprint: Fingerprint,
   clock: Clock,
 ): GatewayEffect => {
   const now = clock.now();
-  const { evidence } = state;
-  recordWrite(state, fingerprint, { kind: 'saved', at: now });
-  const crashes = [...(evidence.byFingerprint.get(fingerprint) ?? [])]
-    .slice(-MAX_STORED_CRASHES)
-    .map((report) => toCrashRow(report, now));
+  const { evidence, writes } = state;
+  const reports = [...(evidence.byFingerprint.get(fingerprint) ?? [])].slice(-MAX_STORED_CRASHES);
+  recordWrite(writes, fingerprint, { kind: 'saved', at: now, reports });
+  const crashes = reports.map((report) => toCrashRow(report, now));
   return { kind: 'save-quarantine', record: { fingerprint, crashes } };
 };
 
@@ -159,7 +138,7 @@
   fingerprint: Fingerprint,
   now: Millis,
 ): GatewayEffect => {
-  recordWrite(state, fingerprint, { kind: 'removed', at: now });
+  recordWrite(state.writes, fingerprint, { kind: 'removed', at: now });
   return { kind: 'remove-quarantine', fingerprint };
 };
 
@@ -214,24 +193,24 @@
  * do not outlast `CRASH_RETENTION_MS`, nor do the writes about them matter after it.
  */
 const repeatWrites = (
-  state: QuarantineState,
+  { writes }: QuarantineState,
   epoch: StoreEpoch,
   { clock, random }: QuarantineInputs,
-): Step<QuarantineState, GatewayEffect> => {
-  const { rewrittenEpoch } = state;
+): readonly GatewayEffect[] => {
+  const { byFingerprint, repeatedEpoch } = writes;
   // Both feeds report the restore.
-  if (epoch !== null && rewrittenEpoch !== null && epoch <= rewrittenEpoch) return toStep(state);
+  if (epoch !== null && repeatedEpoch !== null && epoch <= repeatedEpoch) return [];
+  writes.repeatedEpoch = epoch;
   const since = clock.now() - CRASH_RETENTION_MS;
-  const recent = [...state.writes].filter(([, { at }]) => at > since);
-  const timers = recent.map(([fingerprint, write]) =>
-    scheduleRewrite(fingerprint, write, random.next() * REWRITE_SPREAD_MS),
-  );
+  const recent = [...byFingerprint].filter(([, { at }]) => at > since);
+  if (recent.length === 0) return [];
   const data = { epoch: epoch ?? 'none', writes: recent.length };
-  const line: GatewayEffect = { kind: 'log', name: 'quarantines-rewritten', details: { data } };
-  return {
-    state: { ...state, rewrittenEpoch: epoch },
-    effects: timers.length === 0 ? [] : [line, ...timers],
-  };
+  return [
+    { kind: 'log', name: 'quarantines-rewritten', details: { data } },
+    ...recent.map(([fingerprint, write]) =>
+      scheduleRewrite(fingerprint, write, random.next() * REWRITE_SPREAD_MS),
+    ),
+  ];
 };
 
 const recordObserved = ({ observed }: QuarantineState, endpoint: string): void => {
@@ -267,20 +246,21 @@
  * Creates the decision logic of the `quarantine` child, which finds the contents of requests on
  * which endpoints crash, from the crashes that this daemon and its peers observe.
  *
- * @param inputs - source of the instants of crashes, and random numbers that spread writes
+ * @param inputs - source of the instants of crashes, random numbers that spread writes, and the writes
+ *   of this process
  * @returns the decision logic
  */
 export const createQuarantineLogic = ({
   clock,
   random,
+  writes,
 }: QuarantineInputs): ChildLogic<QuarantineState, QuarantineEvent, GatewayEffect> => ({
   init: () =>
     toStep<QuarantineState, GatewayEffect>(
       {
-        evidence: createCrashEvidence(),
+        evidence: buildWrittenEvidence(writes, clock.now()),
         observed: new Set(),
-        writes: new Map(),
-        rewrittenEpoch: null,
+        writes,
       },
       { kind: 'load-quarantines' },
     ),
@@ -299,7 +279,7 @@
       case 'quarantines-loaded':
         return { state, effects: applyLoaded(state, event.result, clock) };
       case 'store-restored':
-        return repeatWrites(state, event.epoch, { clock, random });
+        return { state, effects: repeatWrites(state, event.epoch, { clock, random, writes }) };
       case 'remove-due':
         return { state, effects: repeatRemoval(state, event.fingerprint, clock.now()) };
       case 'save-due':
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -18,6 +18,7 @@
 import type { AttemptOrder, GatewayEffect, ProbeResult, RequestsEvent } from '../events.js';
 import { createQuarantineLogic } from '../quarantine/quarantine.js';
 import type { QuarantineState } from '../quarantine/quarantine.js';
+import { createQuarantineWrites } from '../quarantine/writes.js';
 import type { AnswerHead } from '../types.js';
 
 export const SIGNED_HEAD: AnswerHead = {
@@ -82,7 +83,11 @@
 export const createRequestsHarness = (): RequestsHarness => {
   const clock = createVirtualClock(1_000);
   const endpoints = [...buildEngines(), ...buildLedgers()];
-  const quarantine = createQuarantineLogic({ clock, random: createRandomSource(5) });
+  const quarantine = createQuarantineLogic({
+    clock,
+    random: createRandomSource(5),
+    writes: createQuarantineWrites(),
+  });
   const quarantineState = quarantine.init().state;
   const limits = new Map<string, RequestLimit>();
   const loads = new Map<string, EndpointLoad>();
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -25,6 +25,7 @@
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { createQuarantineLogic } from './quarantine/quarantine.js';
+import { createQuarantineWrites } from './quarantine/writes.js';
 import type { QuarantineStore } from './quarantine/types.js';
 import { performEffect } from './perform.js';
 import { listOwnTransfers, listSingleRunEndpoints, sumOwnLoads } from './requests/load.js';
@@ -207,7 +208,7 @@
       checkContent: (content) => checkContent(states.quarantine.evidence, content, clock.now()),
       hashContent,
     }),
-    quarantine: createQuarantineLogic({ clock, random }),
+    quarantine: createQuarantineLogic({ clock, random, writes: createQuarantineWrites() }),
     peers: createPeersLogic({
       clock,
       random,
