Keep a worker whose key has an odd entry when a feed is loaded

Callers could see: refusals, and generations moved away from a sound worker, when another writer had left an odd entry under the worker's key and the gateway loaded the feed again.

Cause: a read ignores an entry that cannot be decoded, so the worker stays. A load counted as present only the keys whose entries can be decoded, and removed the worker as missing, with certainty if the store had not been restored.

Change: a key with an entry that cannot be decoded counts as present. As after a read, the worker stays until its registration is removed, and what is observed of it decides whether it gets requests.

Evidence: "an odd entry under the key of a known worker changes nothing, read or loaded" failed on (no worker after the load).

--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -244,6 +244,9 @@
       effects.push(...registerEndpoint(state, change.record, event.removals, now));
     } else if (change.kind === 'endpoint-removed') {
       effects.push(...removeEndpoint(state, change.id, event.removals, now));
+    } else if (change.kind === 'unreadable') {
+      // Any client of the store may have written it; it does not show that the endpoint is gone.
+      present.add(change.key);
     }
   }
   if (event.scope === 'changed') return effects;
