Call a store whose answers lead nowhere with pauses

Callers could see: nothing directly; a gateway calls the store without a pause, which takes its processor time and the calls that all gateways may make together.

Cause: an empty answer to a read is followed by the next read at once, since the store held it. A store that does not hold it, or whose body is cut before the first record, is read as fast as it answers. It is the same for loads: an expired position is loaded at once, also if the store expires each position that it states, answers loads as expired, or states its epoch in reads only, so that each read seems to be newer than the load before it.

A read that was held, and the first load after a restore, are followed at once as before.

Three tests of the same file got 1 s between the answers, which they left out: they describe a store that holds its reads, and their checks are unchanged.

--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
+import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
 import { createFeedsLogic, isFeedStale } from './feeds.js';
 import type { PacingInputs } from './feeds.js';
 import type { FeedsState } from './feeds.js';
@@ -37,7 +37,12 @@
     ({ state } = step);
     return step.effects;
   };
-  return { clock, answer, started: first.effects, getState: () => state };
+  const sendDue = (feed: FeedName): readonly GatewayEffect[] => {
+    const step = logic.decide(state, { to: 'feeds', kind: 'feed-due', feed });
+    ({ state } = step);
+    return step.effects;
+  };
+  return { clock, answer, sendDue, started: first.effects, getState: () => state };
 };
 
 const REGISTERED: RecordChange = { kind: 'endpoint-registered', record: buildEndpoint('e-1') };
@@ -70,6 +75,7 @@
   const posted = effects.flatMap((effect) => (effect.kind === 'post' ? [effect.event.kind] : []));
   t.true(posted.includes('configuration-read'));
   t.true(posted.includes('data-centres-changed'));
+  harness.clock.advance(1_000);
   const quiet = harness.answer('operator', { kind: 'read', changes: [], position: toPosition(9) });
   t.like(quiet[0], { kind: 'read-feed', position: toPosition(9) });
 });
@@ -82,6 +88,7 @@
     changes: [REGISTERED],
     position: toPosition(4),
   });
+  harness.clock.advance(1_000);
   const effects = harness.answer('registrations', { kind: 'expired', epoch: 1 });
   t.deepEqual(effects.at(-1), { kind: 'load-feed', feed: 'registrations' });
   const reloaded = harness.answer('registrations', {
@@ -238,6 +245,7 @@
     changes: [],
     position: { epoch: null, offset: 9 },
   });
+  harness.clock.advance(1_000);
   const effects = harness.answer('operator', {
     kind: 'read',
     changes: [],
@@ -245,3 +253,70 @@
   });
   t.like(effects.at(-1), { kind: 'read-feed', position: { epoch: null, offset: 10 } });
 });
+
+type Call = Extract<GatewayEffect, { kind: 'load-feed' | 'read-feed' }>;
+
+const findCalls = (effects: readonly GatewayEffect[]): readonly Call[] =>
+  effects.flatMap((effect) =>
+    effect.kind === 'load-feed' || effect.kind === 'read-feed' ? [effect] : [],
+  );
+
+const ANSWER_MS = 1;
+
+/** Counts the calls to a store that answers each of them after `ANSWER_MS`. */
+const countCalls = (durationMs: number, answerCall: (call: Call) => FeedResult): number => {
+  const harness = createHarness();
+  const endAt = harness.clock.now() + durationMs;
+  let effects: readonly GatewayEffect[] = harness.started.slice(0, 1);
+  let calls = 0;
+  while (harness.clock.now() < endAt) {
+    const [call] = findCalls(effects);
+    if (call === undefined) {
+      const timer = effects.find(({ kind }) => kind === 'schedule');
+      harness.clock.advance(timer?.kind === 'schedule' ? timer.delayMs : durationMs);
+      effects = harness.sendDue('operator');
+    } else {
+      calls += 1;
+      harness.clock.advance(ANSWER_MS);
+      effects = harness.answer('operator', answerCall(call));
+    }
+  }
+  return calls;
+};
+
+// Guards against a daemon that calls the store without a pause, and uses up its own processor and the
+// calls of all daemons, because the store answers early, or never as its pages say.
+test('a store whose answers lead nowhere is called with pauses', (t) => {
+  const loaded = (epoch: number | null): FeedResult => ({
+    kind: 'loaded',
+    changes: [],
+    position: { epoch, offset: 4 },
+  });
+  const stores: Readonly<Record<string, (call: Call) => FeedResult>> = {
+    'reads that are not held': ({ kind }) =>
+      kind === 'load-feed' ? loaded(1) : { kind: 'read', changes: [], position: toPosition(4) },
+    'each position has expired': ({ kind }) =>
+      kind === 'load-feed' ? loaded(1) : { kind: 'expired', epoch: 1 },
+    'loads have expired': () => ({ kind: 'expired', epoch: 1 }),
+    'an epoch in reads only': ({ kind }) =>
+      kind === 'load-feed' ? loaded(null) : { kind: 'read', changes: [], position: toPosition(4) },
+  };
+  const durationMs = 20 * FEED_RETRY_MS;
+  for (const [name, answerCall] of Object.entries(stores)) {
+    // A load and a read in each interval, and those at the start.
+    t.true(countCalls(durationMs, answerCall) <= 2 * 20 + 2, name);
+  }
+});
+
+// Guards against a restore of the store that is noticed late: the pauses are only for a store that
+// answers early again and again.
+test('a held read is followed at once, and an expired position is loaded at once', (t) => {
+  const harness = createHarness();
+  harness.answer('operator', { kind: 'loaded', changes: [], position: toPosition(4) });
+  harness.clock.advance(FEED_RETRY_MS);
+  const nothing: FeedResult = { kind: 'read', changes: [], position: toPosition(4) };
+  t.is(findCalls(harness.answer('operator', nothing))[0]?.kind, 'read-feed');
+  harness.clock.advance(ANSWER_MS);
+  const expired = harness.answer('operator', { kind: 'expired', epoch: 2 });
+  t.is(findCalls(expired)[0]?.kind, 'load-feed');
+});
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -22,6 +22,7 @@
   FeedName,
   FeedPosition,
   FeedResult,
+  RecordChange,
   RemovalCertainty,
   StalenessLimits,
   StoreEpoch,
@@ -34,9 +35,18 @@
    * Removals read before this instant may only mean that the store was unavailable or restored.
    */
   readonly uncertainUntil: Millis;
+  /** Instant at which the newest load was sent. */
+  readonly loadSentAt: Millis;
 } & (
   | { readonly kind: 'loading' }
-  | { readonly kind: 'following'; readonly position: FeedPosition; readonly readAt: Millis }
+  | {
+      readonly kind: 'following';
+      readonly position: FeedPosition;
+      /** Instant of the newest answer. */
+      readonly readAt: Millis;
+      /** Instant at which the newest read was sent. */
+      readonly sentAt: Millis;
+    }
 );
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
@@ -120,10 +130,42 @@
   }
 };
 
-const readFeed = (feed: FeedName, state: FeedState, pacing: PacingInputs): GatewayEffect =>
-  state.kind === 'loading'
-    ? { kind: 'load-feed', feed }
-    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pacing) };
+/** Sends the next load or read. */
+const sendNext = (
+  feed: FeedName,
+  state: FeedState,
+  { now, pacing }: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  switch (state.kind) {
+    case 'loading':
+      return toStep<FeedState, GatewayEffect>(
+        { ...state, loadSentAt: now },
+        { kind: 'load-feed', feed },
+      );
+    case 'following': {
+      const waitMs = computeWait(feed, pacing);
+      return toStep<FeedState, GatewayEffect>(
+        { ...state, sentAt: now },
+        { kind: 'read-feed', feed, position: state.position, waitMs },
+      );
+    }
+    default:
+      return assertNever(state);
+  }
+};
+
+/** Sends the next load or read, or schedules it for an earliest instant that is not over yet. */
+const sendNextAt = (
+  feed: FeedName,
+  state: FeedState,
+  earliestAt: Millis,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  const delayMs = earliestAt - context.now;
+  return delayMs > 0
+    ? toStep<FeedState, GatewayEffect>(state, scheduleRead(feed, delayMs))
+    : sendNext(feed, state, context);
+};
 
 /**
  * Reports whether the feed of registrations may be stale: its last read failed, or is unanswered
@@ -184,17 +226,17 @@
   return { kind: 'log', name: 'feed-reloaded', details: { data } };
 };
 
+/** Loads a feed again; a store that expires each position it states must not be loaded all the time. */
 const restartFeed = (
   feed: FeedName,
   state: FeedState,
   epoch: StoreEpoch,
+  context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const { failingSince, uncertainUntil } = state;
-  return toStep<FeedState, GatewayEffect>(
-    { kind: 'loading', failingSince, uncertainUntil },
-    describeReload(feed, state, epoch),
-    { kind: 'load-feed', feed },
-  );
+  const { failingSince, loadSentAt, uncertainUntil } = state;
+  const loading: FeedState = { kind: 'loading', failingSince, loadSentAt, uncertainUntil };
+  const sent = sendNextAt(feed, loading, loadSentAt + FEED_RETRY_MS, context);
+  return { state: sent.state, effects: [describeReload(feed, state, epoch), ...sent.effects] };
 };
 
 /** Ignores an answer; with a retry if it belongs to the pending read, which has to be repeated. */
@@ -217,13 +259,28 @@
   event: { to: 'feeds', kind: 'feed-due', feed },
 });
 
+/**
+ * Computes the earliest instant of the next read. One that returned nothing is followed at once, since
+ * the store held it, unless the store answered it early: it would be read without a pause.
+ */
+const computeNextReadAt = (
+  feed: FeedName,
+  state: FeedState,
+  changes: readonly RecordChange[],
+  { now, pacing }: ReadContext,
+): Millis => {
+  if (changes.length > 0) return now + computePause(feed, pacing);
+  return state.kind === 'following' ? state.sentAt + FEED_RETRY_MS : now;
+};
+
 const applyRecords = (
   feed: FeedName,
   state: FeedState,
   { changes, position }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
   scope: ReadScope,
-  { newest, now, pacing }: ReadContext,
+  context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
+  const { newest, now } = context;
   const isUncertain = state.failingSince !== null || scope === 'restored';
   const uncertainUntil = isUncertain ? now + REREGISTRATION_GRACE_MS : state.uncertainUntil;
   const removals: RemovalCertainty =
@@ -237,18 +294,21 @@
     position,
     failingSince: null,
     readAt: now,
+    sentAt: now,
+    loadSentAt: state.loadSentAt,
     uncertainUntil,
   };
-  const pauseMs = changes.length === 0 ? 0 : computePause(feed, pacing);
+  const nextReadAt = computeNextReadAt(feed, state, changes, context);
+  const sent = sendNextAt(feed, next, nextReadAt, context);
   return {
-    state: next,
+    state: sent.state,
     effects: [
       ...describeRecovery(feed, state, now),
       ...(scope === 'restored' && before !== undefined
         ? publishRestore(feed, before, position)
         : []),
       ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
-      pauseMs === 0 ? readFeed(feed, next, pacing) : scheduleRead(feed, pauseMs),
+      ...sent.effects,
     ],
   };
 };
@@ -295,7 +355,7 @@
       return applyRecords(feed, state, result, 'changed', context);
     case 'newer':
       // The position may have been given out again, so the records before it may be new as well.
-      return restartFeed(feed, state, result.position.epoch);
+      return restartFeed(feed, state, result.position.epoch, context);
     case 'older':
       return refuseAnswer(feed, state, result, 'older-epoch');
     default:
@@ -332,7 +392,7 @@
     case 'read':
       return handleRead(feed, state, from, result, context);
     case 'expired':
-      return restartFeed(feed, state, result.epoch);
+      return restartFeed(feed, state, result.epoch, context);
     case 'failed':
       return handleFailure(feed, state, result.message, context.now);
     default:
@@ -340,6 +400,22 @@
   }
 };
 
+const decideFeed = (
+  feed: FeedName,
+  state: FeedState,
+  event: FeedsEvent,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  switch (event.kind) {
+    case 'feed-due':
+      return sendNext(feed, state, context);
+    case 'feed-answered':
+      return handleResult(feed, state, event, context);
+    default:
+      return assertNever(event);
+  }
+};
+
 /**
  * Creates the decision logic of the `feeds` child, which follows the records of operators and
  * endpoints in the platform's store. It loads the newest record of each key once and then reads the
@@ -354,31 +430,26 @@
   getPacingInputs,
   newestPositions,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
-  init: () => ({
-    state: {
-      operator: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
-      registrations: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
-    },
-    effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
-  }),
+  init: () => {
+    const loading: FeedState = {
+      kind: 'loading',
+      failingSince: null,
+      loadSentAt: clock.now(),
+      uncertainUntil: 0,
+    };
+    return {
+      state: { operator: loading, registrations: loading },
+      effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
+    };
+  },
   decide: (state, event) => {
     const { feed } = event;
-    switch (event.kind) {
-      case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(
-          state,
-          readFeed(feed, state[feed], getPacingInputs()),
-        );
-      case 'feed-answered': {
-        const step = handleResult(feed, state[feed], event, {
-          now: clock.now(),
-          pacing: getPacingInputs(),
-          newest: newestPositions,
-        });
-        return { state: { ...state, [feed]: step.state }, effects: step.effects };
-      }
-      default:
-        return assertNever(event);
-    }
+    const context: ReadContext = {
+      now: clock.now(),
+      pacing: getPacingInputs(),
+      newest: newestPositions,
+    };
+    const step = decideFeed(feed, state[feed], event, context);
+    return { state: { ...state, [feed]: step.state }, effects: step.effects };
   },
 });
