End a drain in time when the timers of a busy daemon are late

Cause: the end of a drain has four checks (overdue, last answers, idle connections, end), and each waited for a timer of its own, rounded up to the interval of the checks. On a busy machine each timer is late, so a lateness of 250 ms became more than 1 s and consumed the reserve. The reserve was one number for the steps, the rounding and the lateness together.

Change: each step ends at an instant that the steps before it do not move beyond 400 ms before the end of the grace period; a step that is overdue is posted and not left to a timer. Without rounding, what is left is answered 650 ms before the end of the grace period instead of 700 to 800 ms, and the process ends at the same time as before.

--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -7,18 +7,18 @@
 /** Interval at which a draining daemon checks whether requests are in progress. */
 export const DRAIN_CHECK_MS = 100;
 
-/**
- * Time before the end of the grace period at which a draining daemon stops in any case: the times for
- * the last answers and bytes, each up to a check later, and a reserve for late timers.
- */
-export const GRACE_MARGIN_MS = 800;
-
 /** Time for sending the last answers before the idle connections are closed. */
 export const FINAL_ANSWER_GRACE_MS = 100;
 
 /** Time for sending the last written bytes after the idle connections are closed. */
 export const CLOSE_IDLE_GRACE_MS = 150;
 
+/** Time before the end of the grace period at which the process ends, for late timers and its exit. */
+export const EXIT_RESERVE_MS = 400;
+
+/** Time before the end of the grace period at which a draining daemon answers what is left. */
+export const GRACE_MARGIN_MS = FINAL_ANSWER_GRACE_MS + CLOSE_IDLE_GRACE_MS + EXIT_RESERVE_MS;
+
 /** Header size limit of the server; `CallerLimits.maxHeaderBytes` is below it. */
 export const MAX_HEADER_BYTES = 64 * 1024;
 
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -9,26 +9,41 @@
 import { computeDrain, createGateLogic } from './gate.js';
 import type { GateState } from './gate.js';
 import { createVirtualClock } from '../../core/clock.js';
-import type { FrontendEvent } from '../events.js';
+import type { FrontendEvent, GatewayEffect } from '../events.js';
 
-const createHarness = (open: { count: number }, stopOrderedAt: number | null = null) => {
+const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
+
+const createHarness = (
+  open: { count: number },
+  getStopOrderedAt: () => number | null = () => null,
+) => {
   const clock = createVirtualClock(0);
   const logic = createGateLogic({
     clock,
-    getStopOrderedAt: () => stopOrderedAt,
+    getStopOrderedAt,
     getGraceMs: () => 8_000,
     countOpen: () => open.count,
   });
   const first = logic.init();
   let { state }: { state: GateState } = first;
+  const decide = (event: FrontendEvent): readonly GatewayEffect[] => {
+    const step = logic.decide(state, event);
+    ({ state } = step);
+    return step.effects;
+  };
   return {
     clock,
     started: first.effects.map(({ kind }) => kind),
     getDrain: () => computeDrain(state, clock.now(), 8_000),
-    post: (event: FrontendEvent) => {
-      const step = logic.decide(state, event);
-      ({ state } = step);
-      return step.effects.map(({ kind }) => kind);
+    post: (event: FrontendEvent) => decide(event).map(({ kind }) => kind),
+    /** Runs the checks of the drain until the process ends; each timer is late by `lateMs`. */
+    runChecks: (lateMs: number) => {
+      let effects = decide(CHECKED);
+      while (!effects.some(({ kind }) => kind === 'end-process')) {
+        const timer = effects.find((effect) => effect.kind === 'schedule');
+        clock.advance(timer === undefined ? 0 : timer.delayMs + lateMs);
+        effects = decide(CHECKED);
+      }
     },
   };
 };
@@ -39,8 +54,6 @@
 /** Time for closing the servers and ending the process. */
 const RESERVE_MS = 150;
 
-const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
-
 // Guards against a daemon that ends before the load balancer has noticed its drain, which breaks
 // new connections.
 test('an idle daemon keeps running until the load balancer has probed it twice', (t) => {
@@ -98,10 +111,21 @@
   t.true(harness.clock.now() <= 8_000 - RESERVE_MS);
 });
 
+// Guards against a stop under load that outlives its grace period (planned soak, seed 26001): each step
+// of the end of a drain waited for a timer of its own, and every one of them came late.
+test('late timers delay the end of a drain once, not at each of its steps', (t) => {
+  for (const lateMs of [50, 150, 250, 350]) {
+    const harness = createHarness({ count: 3 });
+    harness.post({ to: 'frontend', kind: 'drain-started' });
+    harness.runChecks(lateMs);
+    t.true(harness.clock.now() <= 8_000, `${lateMs.toString()}: ${harness.clock.now().toString()}`);
+  }
+});
+
 // Guards against a draining daemon that reports that it is ready and is killed at the end of its grace
 // period, because its frontend was restarted meanwhile.
 test('a restarted frontend goes on with the drain', (t) => {
-  const harness = createHarness({ count: 0 }, 0);
+  const harness = createHarness({ count: 0 }, () => 0);
   harness.clock.advance(MIN_DRAIN_MS);
   t.deepEqual(harness.getDrain(), {
     drainedMs: MIN_DRAIN_MS,
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -1,6 +1,7 @@
 import {
   CLOSE_IDLE_GRACE_MS,
   DRAIN_CHECK_MS,
+  EXIT_RESERVE_MS,
   FINAL_ANSWER_GRACE_MS,
   GRACE_MARGIN_MS,
   MIN_DRAIN_MS,
@@ -56,42 +57,64 @@
   }
 };
 
-const NEXT_DRAIN_CHECK: GatewayEffect = {
-  kind: 'schedule',
-  delayMs: DRAIN_CHECK_MS,
-  event: { to: 'frontend', kind: 'drain-checked' },
-};
+const DRAIN_CHECKED = { to: 'frontend', kind: 'drain-checked' } as const;
+
+/** A check that is overdue is not left to a timer, which a busy daemon runs late. */
+const checkAfter = (delayMs: Millis): GatewayEffect =>
+  delayMs <= 0
+    ? { kind: 'post', event: DRAIN_CHECKED }
+    : { kind: 'schedule', delayMs, event: DRAIN_CHECKED };
+
+const FIRST_DRAIN_CHECK = checkAfter(DRAIN_CHECK_MS);
+
+/** Instant at which the requests that are left are answered. */
+const computeOverdueAt = (drainedAt: Millis, graceMs: Millis): Millis =>
+  drainedAt + graceMs - GRACE_MARGIN_MS;
+
+/** Returns the end of a step, which the steps before it do not delay beyond the end of the daemon. */
+const computeStepEnd = (
+  startedAt: Millis,
+  durationMs: Millis,
+  { drainedAt }: { readonly drainedAt: Millis },
+  graceMs: Millis,
+): Millis => Math.min(startedAt + durationMs, drainedAt + graceMs - EXIT_RESERVE_MS);
 
 const checkDrain = (state: GateState, inputs: GateInputs): Step<GateState, GatewayEffect> => {
   const now = inputs.clock.now();
   const left = inputs.countOpen();
+  const graceMs = inputs.getGraceMs();
   switch (state.phase) {
     case 'accepting':
       return toStep<GateState, GatewayEffect>(state);
     case 'draining': {
-      const drainedMs = now - state.drainedAt;
-      const isDrained = left === 0 && drainedMs >= MIN_DRAIN_MS;
-      const isOverdue = drainedMs >= inputs.getGraceMs() - GRACE_MARGIN_MS;
-      if (!isDrained && !isOverdue)
-        return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
+      const { drainedAt } = state;
+      const overdueInMs = computeOverdueAt(drainedAt, graceMs) - now;
+      const isDrained = left === 0 && now - drainedAt >= MIN_DRAIN_MS;
+      if (!isDrained && overdueInMs > 0)
+        return toStep(state, checkAfter(Math.min(DRAIN_CHECK_MS, overdueInMs)));
+      const endsAt = computeStepEnd(now, FINAL_ANSWER_GRACE_MS, state, graceMs);
       return toStep<GateState, GatewayEffect>(
-        { phase: 'ending', drainedAt: state.drainedAt, endedAt: now },
+        { phase: 'ending', drainedAt, endedAt: now },
         { kind: 'post', event: { to: 'requests', kind: 'drain-ended' } },
-        NEXT_DRAIN_CHECK,
+        checkAfter(endsAt - now),
       );
     }
-    case 'ending':
-      if (left > 0 && now - state.endedAt < FINAL_ANSWER_GRACE_MS)
-        return toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK);
+    case 'ending': {
+      const endsAt = computeStepEnd(state.endedAt, FINAL_ANSWER_GRACE_MS, state, graceMs);
+      if (left > 0 && now < endsAt) return toStep(state, checkAfter(endsAt - now));
+      const closedUntil = computeStepEnd(now, CLOSE_IDLE_GRACE_MS, state, graceMs);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
         { kind: 'close-idle' },
-        NEXT_DRAIN_CHECK,
+        checkAfter(closedUntil - now),
       );
-    case 'closing':
-      return now - state.closedAt < CLOSE_IDLE_GRACE_MS
-        ? toStep<GateState, GatewayEffect>(state, NEXT_DRAIN_CHECK)
+    }
+    case 'closing': {
+      const endsAt = computeStepEnd(state.closedAt, CLOSE_IDLE_GRACE_MS, state, graceMs);
+      return now < endsAt
+        ? toStep(state, checkAfter(endsAt - now))
         : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
+    }
     default:
       return assertNever(state);
   }
@@ -111,7 +134,7 @@
     const drainedAt = inputs.getStopOrderedAt();
     return drainedAt === null
       ? toStep<GateState, GatewayEffect>({ phase: 'accepting' })
-      : toStep<GateState, GatewayEffect>({ phase: 'draining', drainedAt }, NEXT_DRAIN_CHECK);
+      : toStep<GateState, GatewayEffect>({ phase: 'draining', drainedAt }, FIRST_DRAIN_CHECK);
   },
   decide: (state, event) => {
     switch (event.kind) {
@@ -126,7 +149,7 @@
         return toStep<GateState, GatewayEffect>(
           { phase: 'draining', drainedAt: inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
-          NEXT_DRAIN_CHECK,
+          FIRST_DRAIN_CHECK,
         );
       }
       case 'drain-checked':
