Count the drain from the order to stop

What callers see: a request that could have been answered is cut, since the platform counts the grace period from its signal and the daemon from the time at which its frontend handles the order, after all events that were queued before. With a restart of the frontend it already counted from the order.

Evidence: 'the drain counts from the order to stop' fails before (0 ms instead of 500 ms).

--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -122,6 +122,17 @@
   }
 });
 
+// Guards against a drain that begins late: the platform counts the grace period from the signal, not
+// from the time at which a busy daemon handles it.
+test('the drain counts from the order to stop', (t) => {
+  let orderedAt: number | null = null;
+  const harness = createHarness({ count: 0 }, () => orderedAt);
+  orderedAt = 1_000;
+  harness.clock.advance(1_500);
+  harness.post({ to: 'frontend', kind: 'drain-started' });
+  t.is(harness.getDrain()?.drainedMs, 500);
+});
+
 // Guards against a draining daemon that reports that it is ready and is killed at the end of its grace
 // period, because its frontend was restarted meanwhile.
 test('a restarted frontend goes on with the drain', (t) => {
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -147,7 +147,7 @@
         if (state.phase !== 'accepting') return toStep<GateState, GatewayEffect>(state);
         const data = { open: inputs.countOpen(), graceMs: inputs.getGraceMs() };
         return toStep<GateState, GatewayEffect>(
-          { phase: 'draining', drainedAt: inputs.clock.now() },
+          { phase: 'draining', drainedAt: inputs.getStopOrderedAt() ?? inputs.clock.now() },
           { kind: 'log', name: 'daemon-stopping', details: { data } },
           FIRST_DRAIN_CHECK,
         );
