Keep removals uncertain over a restart of the feeds child

Callers could see: requests sent to a worker that is gone, and generations moved away from sound workers, when a child of the supervisor failed within 2.5 s of an outage or a restore of the store.

Cause: the time in which removals are uncertain was part of the state of the feeds child, whereas the positions from which it recognizes a restored store outlive it. A restarted child loaded the same older copy once more and took it for complete: workers that had not registered again were removed with certainty, and the earlier incarnation of a worker that had left counted as a later one, since start times decide only while removals are uncertain.

Change: the start of an outage and the end of that time outlive the child, with the positions.

--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -19,7 +19,7 @@
   const clock = createVirtualClock(1_000);
   const logic = createFeedsLogic({
     clock,
-    newestPositions: new Map(),
+    newestReads: new Map(),
     getPacingInputs: () => buildPacingInputs(daemons),
   });
   const first = logic.init();
@@ -42,7 +42,10 @@
     ({ state } = step);
     return step.effects;
   };
-  return { clock, answer, sendDue, started: first.effects, getState: () => state };
+  const restart = (): void => {
+    ({ state } = logic.init());
+  };
+  return { clock, answer, sendDue, restart, started: first.effects, getState: () => state };
 };
 
 const REGISTERED: RecordChange = { kind: 'endpoint-registered', record: buildEndpoint('e-1') };
@@ -128,6 +131,29 @@
   t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
 });
 
+// Guards against sound endpoints that are dropped with certainty because the child was restarted in or
+// after an outage of the store, in which they could not register.
+test('removals stay uncertain when the child is restarted', (t) => {
+  for (const restart of ['in the outage', 'after it']) {
+    const harness = createHarness();
+    const position = toPosition(4);
+    harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position });
+    harness.answer('registrations', FAILED);
+    harness.clock.advance(5_000);
+    if (restart === 'after it') {
+      harness.answer('registrations', { kind: 'read', changes: [], position });
+    }
+    harness.restart();
+    const load: FeedResult = { kind: 'loaded', changes: [], position };
+    const [event] = findRegistrations(harness.answer('registrations', load, null));
+    t.deepEqual(event?.removals, { kind: 'uncertain', since: 6_000 }, restart);
+    harness.clock.advance(REREGISTRATION_GRACE_MS);
+    harness.restart();
+    const [later] = findRegistrations(harness.answer('registrations', load, null));
+    t.deepEqual(later?.removals, { kind: 'certain' }, restart);
+  }
+});
+
 // Guards against missed notices of leaving endpoints when the store stops answering without an
 // error.
 test('the registrations are stale when a read stays unanswered', (t) => {
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -51,16 +51,22 @@
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
 
+/** What a daemon has read of a feed. */
+export interface NewestRead extends Pick<FeedState, 'failingSince' | 'uncertainUntil'> {
+  /** Newest position whose records were applied; null before the first load. */
+  readonly position: FeedPosition | null;
+}
+
 /**
- * Newest position of each feed whose records were applied. It outlives the state of the child, so
- * that a restarted child still recognizes a restored store.
+ * What was read of each feed. It outlives the state of the child, so that a restarted child still
+ * recognizes a restored store, and knows that registrations may be missing from it.
  */
-export type NewestPositions = Map<FeedName, FeedPosition>;
+export type NewestReads = Map<FeedName, NewestRead>;
 
 export interface FeedsInputs {
   readonly clock: Clock;
   /** Updated by this child only. */
-  readonly newestPositions: NewestPositions;
+  readonly newestReads: NewestReads;
   readonly getPacingInputs: () => PacingInputs;
 }
 
@@ -74,7 +80,7 @@
 interface ReadContext {
   readonly now: Millis;
   readonly pacing: PacingInputs;
-  readonly newest: NewestPositions;
+  readonly newest: NewestReads;
 }
 
 /** Order of the epoch of an answer and that of the newest applied records. */
@@ -90,6 +96,9 @@
   return position === null || answer > position ? 'newer' : 'older';
 };
 
+const getPosition = (newest: NewestReads, feed: FeedName): FeedPosition | null =>
+  newest.get(feed)?.position ?? null;
+
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
 const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
@@ -287,8 +296,7 @@
     now < uncertainUntil
       ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
       : { kind: 'certain' };
-  const before = newest.get(feed);
-  newest.set(feed, position);
+  const before = getPosition(newest, feed);
   const next: FeedState = {
     kind: 'following',
     position,
@@ -304,9 +312,7 @@
     state: sent.state,
     effects: [
       ...describeRecovery(feed, state, now),
-      ...(scope === 'restored' && before !== undefined
-        ? publishRestore(feed, before, position)
-        : []),
+      ...(scope === 'restored' && before !== null ? publishRestore(feed, before, position) : []),
       ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
       ...sent.effects,
     ],
@@ -321,8 +327,8 @@
 ): Step<FeedState, GatewayEffect> => {
   // The answer to a load of an earlier incarnation of this child.
   if (state.kind === 'following') return refuseAnswer(feed, state, result, 'other-position');
-  const before = context.newest.get(feed);
-  if (before === undefined) return applyRecords(feed, state, result, 'all', context);
+  const before = getPosition(context.newest, feed);
+  if (before === null) return applyRecords(feed, state, result, 'all', context);
   const order = compareEpochs(result.position.epoch, before.epoch);
   switch (order) {
     case 'same':
@@ -400,6 +406,20 @@
   }
 };
 
+const startLoading = (feed: FeedName, newest: NewestReads, now: Millis): FeedState => {
+  const { failingSince = null, uncertainUntil = 0 } = newest.get(feed) ?? {};
+  return { kind: 'loading', failingSince, uncertainUntil, loadSentAt: now };
+};
+
+const toNewestRead = (state: FeedState, before: FeedPosition | null): NewestRead => {
+  const { failingSince, uncertainUntil } = state;
+  return {
+    failingSince,
+    uncertainUntil,
+    position: state.kind === 'following' ? state.position : before,
+  };
+};
+
 const decideFeed = (
   feed: FeedName,
   state: FeedState,
@@ -421,35 +441,31 @@
  * endpoints in the platform's store. It loads the newest record of each key once and then reads the
  * records after them.
  *
- * @param inputs - clock, newest positions, and the values from which the intervals between reads are
- *   computed
+ * @param inputs - clock, what was read before, and the values from which the intervals between reads
+ *   are computed
  * @returns the decision logic
  */
 export const createFeedsLogic = ({
   clock,
   getPacingInputs,
-  newestPositions,
+  newestReads,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
-  init: () => {
-    const loading: FeedState = {
-      kind: 'loading',
-      failingSince: null,
-      loadSentAt: clock.now(),
-      uncertainUntil: 0,
-    };
-    return {
-      state: { operator: loading, registrations: loading },
-      effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
-    };
-  },
+  init: () => ({
+    state: {
+      operator: startLoading('operator', newestReads, clock.now()),
+      registrations: startLoading('registrations', newestReads, clock.now()),
+    },
+    effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
+  }),
   decide: (state, event) => {
     const { feed } = event;
     const context: ReadContext = {
       now: clock.now(),
       pacing: getPacingInputs(),
-      newest: newestPositions,
+      newest: newestReads,
     };
     const step = decideFeed(feed, state[feed], event, context);
+    newestReads.set(feed, toNewestRead(step.state, getPosition(newestReads, feed)));
     return { state: { ...state, [feed]: step.state }, effects: step.effects };
   },
 });
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -243,7 +243,7 @@
           : [],
     }),
     moves: createMovesLogic(clock, createNewestMoves()),
-    feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
+    feeds: createFeedsLogic({ clock, getPacingInputs, newestReads: new Map() }),
     frontend: createGateLogic({
       clock,
       getStopOrderedAt: () => cradle.stopOrder.at,
