Send a request only after its attempt counts as sent

What callers saw (suspected, by reading): a refusal as not run (503) of a request that an endpoint runs (REFUSED, and a second run by the caller's retry).

Cause: the client of the endpoints sent the request with the connection, and reported it by an event. While that event waited in the queue of a busy daemon, the deadline of the request or the end of a drain found the attempt still connecting, and the caller was told that nothing had run.

Change: opening an attempt only connects. The requests child marks the attempt as sent and orders the bytes in the same step, so an attempt that counts as connecting has sent nothing, and one that ended before is never sent. A connection that ends before the order counts as unreachable, which is not run. An answer that comes before its request is garbled.

Evidence: 'no byte is sent before the connection has been reported and the order to send' fails before: the endpoint gets the whole head and body. 'a request that ended while its attempt was connecting is not sent' checks the step that decides. The event attempt-sent is now attempt-connected in the tests; their checks are the same.

--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -19,7 +19,7 @@
     case 'answer-started':
     case 'answer-continued':
     case 'answer-ended':
-    case 'attempt-sent':
+    case 'attempt-connected':
     case 'attempt-failed':
     case 'transfer-ended':
     case 'endpoint-probed':
--- a/packages/gateway/endpoints/endlessAnswer.test.ts
+++ b/packages/gateway/endpoints/endlessAnswer.test.ts
@@ -47,6 +47,7 @@
     server.listen(0, '127.0.0.1', () => {
       const client = createEndpointClient(CODEC, (event) => {
         events.push(event);
+        if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
       });
       client.open(buildOrder((server.address() as AddressInfo).port));
     });
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -30,6 +30,7 @@
   await new Promise<void>((resolve) => {
     const client = createEndpointClient(CODEC, (event) => {
       events.push(event);
+      if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
       if (event.kind === 'answer-ended' || event.kind === 'attempt-failed') resolve();
     });
     client.open(buildOrder((server.address() as AddressInfo).port));
@@ -133,6 +134,32 @@
       holdLoop(CONNECT_TIMEOUT_MS * 2);
     },
   );
-  t.is(events[0]?.kind, 'attempt-sent');
+  t.is(events[0]?.kind, 'attempt-connected');
   t.is(events.at(-1)?.kind, 'answer-ended');
 });
+
+// Guards against a request that is refused as not run although an endpoint runs it (M7): its bytes were
+// sent with the connection, while the event that marks it as sent waited in the queue of a busy daemon.
+test('no byte is sent before the connection has been reported and the order to send', async (t) => {
+  const received: string[] = [];
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => received.push(bytes.toString()));
+    socket.once('close', () => {
+      server.close();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const closed = new Promise((resolve) => {
+    server.once('close', resolve);
+  });
+  const client = createEndpointClient(CODEC, (event) => {
+    // As many turns as a long queue of events takes.
+    if (event.kind !== 'attempt-failed') setTimeout(() => client.cancel(1, 1), 50);
+  });
+  client.open(buildOrder((server.address() as AddressInfo).port));
+  await closed;
+  t.deepEqual(received, []);
+});
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -11,7 +11,10 @@
 
 /** Sends attempts to endpoints, each on its own connection. */
 export interface EndpointClient {
+  /** Connects to the endpoint of an attempt; nothing is sent before `send`. */
   readonly open: (order: AttemptOrder) => void;
+  /** Sends the request of a connected attempt. */
+  readonly send: (key: number, attempt: number) => void;
   /** Closes the connection of an attempt, which cancels the request at the endpoint. */
   readonly cancel: (key: number, attempt: number) => void;
   /** Opens a connection to an endpoint and closes it at once. */
@@ -19,6 +22,11 @@
   readonly close: () => void;
 }
 
+interface RunningAttempt {
+  readonly outgoing: ClientRequest;
+  readonly send: () => void;
+}
+
 const toAttemptId = (key: number, attempt: number): string =>
   `${key.toString()}/${attempt.toString()}`;
 
@@ -71,14 +79,14 @@
   codec: HeadCodec,
   post: (event: RequestsEvent) => void,
 ): EndpointClient => {
-  const running = new Map<string, ClientRequest>();
+  const running = new Map<string, RunningAttempt>();
   const probes = new Map<string, Promise<ProbeResult>>();
 
   const open = (order: AttemptOrder): void => {
     const { address, attempt, key, request } = order;
     const attemptId = toAttemptId(key, attempt);
     const eventBase = { to: 'requests', key, attempt } as const;
-    let phase: 'connecting' | 'sent' | 'ended' = 'connecting';
+    let phase: 'connecting' | 'connected' | 'sent' | 'ended' = 'connecting';
     let answer: IncomingMessage | null = null;
     let bodyBytes = 0;
     let interimAnswers = 0;
@@ -87,15 +95,19 @@
       if (phase === 'ended') return;
       phase = 'ended';
       clearTimeout(connectTimer);
-      if (running.get(attemptId) === outgoing) running.delete(attemptId);
+      if (running.get(attemptId)?.outgoing === outgoing) running.delete(attemptId);
       post(event);
     };
 
     const fail = (error: Error): void => {
       // The answer is complete, and its `end` event follows once the buffered data has been read.
       if (answer?.complete === true) return;
-      const kind: AttemptFailure['kind'] =
-        phase === 'connecting' ? 'unreachable' : isParseError(error) ? 'garbled' : 'broken';
+      const isUnsent = phase === 'connecting' || phase === 'connected';
+      const kind: AttemptFailure['kind'] = isUnsent
+        ? 'unreachable'
+        : isParseError(error)
+          ? 'garbled'
+          : 'broken';
       finish({ ...eventBase, kind: 'attempt-failed', failure: { kind, message: error.message } });
     };
 
@@ -113,7 +125,14 @@
       agent: false,
       setHost: false,
     });
-    running.set(attemptId, outgoing);
+    running.set(attemptId, {
+      outgoing,
+      send: () => {
+        if (phase !== 'connected') return;
+        phase = 'sent';
+        outgoing.end(request.body);
+      },
+    });
     const connectTimer = setTimeout(() => {
       runAfterReads(() => {
         if (phase !== 'connecting') return;
@@ -130,8 +149,8 @@
       socket.once('connect', () => {
         clearTimeout(connectTimer);
         if (phase !== 'connecting') return;
-        phase = 'sent';
-        post({ ...eventBase, kind: 'attempt-sent' });
+        phase = 'connected';
+        post({ ...eventBase, kind: 'attempt-connected' });
       });
     });
     outgoing.on('error', fail);
@@ -141,7 +160,8 @@
     });
     outgoing.on('response', (incoming) => {
       answer = incoming;
-      const fault = findHeadFault(incoming);
+      const fault =
+        phase === 'connected' ? 'the answer came before the request' : findHeadFault(incoming);
       if (fault !== null) {
         endGarbled(fault);
         return;
@@ -165,16 +185,18 @@
     outgoing.on('close', () => {
       if (answer === null) fail(new Error('the connection closed without an answer'));
     });
-    outgoing.end(request.body);
   };
 
   return {
     open,
+    send: (key, attempt) => {
+      running.get(toAttemptId(key, attempt))?.send();
+    },
     cancel: (key, attempt) => {
       const attemptId = toAttemptId(key, attempt);
-      const outgoing = running.get(attemptId);
+      const attemptRun = running.get(attemptId);
       running.delete(attemptId);
-      outgoing?.destroy();
+      attemptRun?.outgoing.destroy();
     },
     probe: ({ host, port }) => {
       const name = `${host}:${port.toString()}`;
@@ -186,7 +208,7 @@
       return probe;
     },
     close: () => {
-      for (const outgoing of running.values()) outgoing.destroy();
+      for (const { outgoing } of running.values()) outgoing.destroy();
       running.clear();
     },
   };
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -161,7 +161,8 @@
       readonly bytes: Uint8Array;
     }
   | { readonly kind: 'answer-ended'; readonly key: number; readonly attempt: number }
-  | { readonly kind: 'attempt-sent'; readonly key: number; readonly attempt: number }
+  /** The connection is established, and nothing has been sent on it. */
+  | { readonly kind: 'attempt-connected'; readonly key: number; readonly attempt: number }
   | {
       readonly kind: 'attempt-failed';
       readonly key: number;
@@ -248,7 +249,9 @@
       readonly hosts: readonly string[];
       readonly message: PeerMessage;
     }
+  /** Connects to the endpoint; `send-attempt` sends the request. */
   | { readonly kind: 'open-attempt'; readonly order: AttemptOrder }
+  | { readonly kind: 'send-attempt'; readonly key: number; readonly attempt: number }
   | {
       readonly kind: 'start-transfer';
       readonly key: number;
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -252,6 +252,9 @@
       connections.recordAttempt(effect.order.key);
       endpoints.open(effect.order);
       return;
+    case 'send-attempt':
+      endpoints.send(effect.key, effect.attempt);
+      return;
     case 'read-report':
       readReport(effect, adapters);
       return;
--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -25,7 +25,7 @@
 const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
 
 const startAnswer = (harness: RequestsHarness, order: AttemptOrder): void => {
-  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
 };
 
@@ -86,7 +86,7 @@
 test('a waiting request is cancelled when its content is quarantined', (t) => {
   const harness = createRequestsHarness();
   const waiting = getOrder(send(harness, '/memo/1', 'waiting'));
-  harness.post({ ...toEvent(waiting), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(waiting), kind: 'attempt-connected' });
   sendCrashing(harness, '/memo/1', 'first');
   const effects = sendCrashing(harness, '/memo/1', 'second');
   const cancelled = effects.filter(({ kind }) => kind === 'cancel-attempt');
@@ -123,7 +123,7 @@
   harness.setProbeResult('refused');
   for (let round = 0; round < 3; round += 1) {
     const order = getOrder(harness.sendRequest('/sweep/1'));
-    harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+    harness.post({ ...toEvent(order), kind: 'attempt-connected' });
     failConnection(harness, order);
     harness.wait(CORRELATED_CRASH_MS);
     const used = harness.endpoints.findIndex(({ id }) => id === order.head.endpointId);
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -25,7 +25,7 @@
 };
 
 const reportSent = (harness: RequestsHarness, order: AttemptOrder): void => {
-  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
 };
 
 const startAnswer = (
@@ -506,3 +506,18 @@
   );
   t.truthy(findEffect(harness.post({ ...toEvent(order), kind: 'answer-ended' }), 'end-answer'));
 });
+
+// Guards against a refusal as not run of a request whose bytes are sent afterwards: the deadline passes
+// while the connection of its only attempt has been established but not been reported yet.
+test('a request that ended while its attempt was connecting is not sent', (t) => {
+  const harness = createRequestsHarness();
+  const order = getOrder(harness.sendRequest('/sweep/1'));
+  const effects = harness.post({ to: 'requests', kind: 'deadline-reached', key: order.key });
+  t.is(findEffect(effects, 'refuse')?.failure.verdict, 'not-run');
+  t.deepEqual(harness.post({ ...toEvent(order), kind: 'attempt-connected' }), []);
+  const second = getOrder(harness.sendRequest('/sweep/2'));
+  const connected = harness.post({ ...toEvent(second), kind: 'attempt-connected' });
+  t.is(findEffect(connected, 'send-attempt')?.key, second.key);
+  const late = harness.post({ to: 'requests', kind: 'deadline-reached', key: second.key });
+  t.is(findEffect(late, 'refuse')?.failure.verdict, 'may-have-run');
+});
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -207,9 +207,10 @@
   context: RequestsContext,
 ): Effects => {
   switch (event.kind) {
-    case 'attempt-sent':
-      if (attempt.phase === 'connecting') attempt.phase = 'sent';
-      return [];
+    case 'attempt-connected':
+      // From here on the endpoint may run the request, whatever else waits in the event queue.
+      attempt.phase = 'sent';
+      return [{ kind: 'send-attempt', key: event.key, attempt: event.attempt }];
     case 'answer-started':
       return startAnswer(forwarding, attempt, event.head, context);
     case 'answer-continued':
@@ -249,7 +250,7 @@
       return expireRequest(forwarding, context);
     case 'placement-due':
       return forwarding.attempts.size > 0 ? [] : placeRequest(forwarding, 'first', context);
-    case 'attempt-sent':
+    case 'attempt-connected':
     case 'answer-started':
     case 'answer-continued':
     case 'answer-ended':
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -35,7 +35,7 @@
 };
 
 const startAnswer = (harness: RequestsHarness, order: AttemptOrder, head = SIGNED_HEAD) => {
-  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   return harness.post({ ...toEvent(order), kind: 'answer-started', head });
 };
 
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -31,7 +31,7 @@
     const [order] = findAttemptOrders(harness.sendRequest('/memo/1', { id, demand }));
     if (order === undefined) throw new Error('no attempt was opened');
     const head = { ...SIGNED_HEAD, requestId: id, framing };
-    harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+    harness.post({ ...toEvent(order), kind: 'attempt-connected' });
     harness.post({ ...toEvent(order), kind: 'answer-started', head });
     harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 9) });
     return order;
@@ -113,7 +113,7 @@
   harness.endpoints.splice(1, 2);
   const [order] = findAttemptOrders(harness.sendRequest('/memo/1')) as [AttemptOrder];
   const head = { ...SIGNED_HEAD, requestId: 'r-1', framing: 'until-close' } as const;
-  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   harness.post({ ...toEvent(order), kind: 'answer-started', head });
   harness.endpoints.push(buildEndpoint('e-2'));
   postLeaving(harness);
@@ -229,7 +229,7 @@
   const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
   const head = { ...SIGNED_HEAD, ...refusal, requestId: 'r-0' };
   const refuse = (refused: AttemptOrder) => {
-    harness.post({ ...toEvent(refused), kind: 'attempt-sent' });
+    harness.post({ ...toEvent(refused), kind: 'attempt-connected' });
     return harness.post({ ...toEvent(refused), kind: 'answer-started', head });
   };
   const [back] = findAttemptOrders(refuse(next)) as [AttemptOrder];
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -47,7 +47,7 @@
   readonly handle: string;
 }
 
-/** Progress of an attempt; before `sent`, the endpoint cannot have run the request. */
+/** Progress of an attempt; before `sent`, no byte of the request has been sent. */
 export type AttemptPhase = 'connecting' | 'sent' | 'answering';
 
 /** One attempt at one endpoint; only the requests child updates it, in place. */
