Let a continuation that connects late refuse before the silent endpoint is given up

What callers saw (suspected, by a scenario): a stream is closed although its endpoint is only silent and goes on, because the endpoint that should continue it refuses.

Cause: the 300 ms for which the silent endpoint keeps its attempt counted from the order to connect. A connection that takes 280 ms, as with a lost opening packet or a full queue of connections, left the other endpoint 20 ms to refuse; a later one was looked at every 300 ms. The refusal then found no attempt to go back to.

Change: the time counts from the step that sends the request, so that each continuation has the whole of it. Two endpoints still work on one generation for no longer than before, since nothing is sent earlier.

Not changed: an endpoint that is silent for 3.6 s is still given up 300 ms after the request was sent, though the other one has not answered.

Evidence: 'a continuation that connects late can still refuse before the silent endpoint is given up' fails before.

--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -23,8 +23,8 @@
 export const STALL_TARGET_FACTOR = 2;
 
 /**
- * Time for which a silent endpoint keeps its attempt while another endpoint continues the stream. An
- * endpoint that refuses does so within it, and two endpoints may work on one generation for 400 ms.
+ * Time for which a silent endpoint keeps its attempt after the request has been sent to another
+ * endpoint that continues the stream. An endpoint that refuses does so within it.
  */
 export const CONTINUATION_OVERLAP_MS = 300;
 
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -16,7 +16,7 @@
 } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
 import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
-import { checkStall, endSilentAttempt } from './silence.js';
+import { checkStall, endSilentAttempt, startOverlap } from './silence.js';
 import type {
   Attempt,
   Effects,
@@ -210,7 +210,10 @@
     case 'attempt-connected':
       // From here on the endpoint may run the request, whatever else waits in the event queue.
       attempt.phase = 'sent';
-      return [{ kind: 'send-attempt', key: event.key, attempt: event.attempt }];
+      return [
+        { kind: 'send-attempt', key: event.key, attempt: event.attempt },
+        ...startOverlap(forwarding, attempt),
+      ];
     case 'answer-started':
       return startAnswer(forwarding, attempt, event.head, context);
     case 'answer-continued':
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { STALL_TARGET_FACTOR } from './constants.js';
 import {
   buildEvents,
   createRequestsHarness,
@@ -7,6 +8,7 @@
   SIGNED_HEAD,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
@@ -16,6 +18,12 @@
 /** Silence after which a stream is continued at another endpoint. */
 const LONG_SILENCE_MS = 3_700;
 
+/** Time for the way to an endpoint, its refusal and the way back. */
+const REFUSAL_MS = 50;
+
+/** Time from the opening of a continuation until the end of `LONG_SILENCE_MS`. */
+const SINCE_OPENED_MS = LONG_SILENCE_MS - MEMO_ROUTE.targetMs * STALL_TARGET_FACTOR;
+
 /** Time for which two endpoints may work on the same generation. */
 const MAX_OVERLAP_MS = 400;
 
@@ -215,3 +223,19 @@
   const resumed = getOrder(harness.post({ ...toEvent(order), kind: 'attempt-failed', failure }));
   t.deepEqual(resumed.address, continuation.address);
 });
+
+// Guards against a lost stream when the connection to the endpoint that should continue it takes long:
+// the silent endpoint was given up as soon as the request was sent, before the other could refuse.
+test('a continuation that connects late can still refuse before the silent endpoint is given up', (t) => {
+  for (const connectMs of [280, 580]) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/memo/1');
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+    harness.wait(connectMs - SINCE_OPENED_MS);
+    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    t.is(findEffect(harness.wait(REFUSAL_MS), 'cancel-attempt'), undefined);
+    harness.post({ ...toEvent(continuation), kind: 'answer-started', head: REFUSED });
+    t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
+    t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+  }
+});
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -23,11 +23,24 @@
   event: { to: 'requests', kind: 'stall-check-due', key: request.key, attempt: attempt.number },
 });
 
-const scheduleOverlapEnd = ({ request }: Forwarding, { number }: Attempt): GatewayEffect => ({
-  kind: 'schedule',
-  delayMs: CONTINUATION_OVERLAP_MS,
-  event: { to: 'requests', kind: 'overlap-ended', key: request.key, attempt: number },
-});
+/**
+ * Schedules the end of the overlap when a continuation is sent. The overlap does not count the time
+ * for connecting, in which the endpoint can neither refuse nor run the request.
+ *
+ * @param forwarding - request
+ * @param continuation - attempt that is about to be sent
+ * @returns effects; none unless a silent endpoint keeps its attempt meanwhile
+ */
+export const startOverlap = ({ attempts, request }: Forwarding, continuation: Attempt): Effects => {
+  if (continuation.purpose !== 'continuation') return [];
+  return [...attempts.values()]
+    .filter((attempt) => attempt !== continuation)
+    .map(({ number }) => ({
+      kind: 'schedule',
+      delayMs: CONTINUATION_OVERLAP_MS,
+      event: { to: 'requests', kind: 'overlap-ended', key: request.key, attempt: number },
+    }));
+};
 
 const describeSilence = (
   { lastEventId, request, route }: Forwarding,
@@ -97,12 +110,7 @@
   if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
   // The continuation uses the copy, so the end of this attempt must not release it.
   attempt.copy = null;
-  return [
-    describe('continued'),
-    ...openContinuation(forwarding, plan, context),
-    scheduleOverlapEnd(forwarding, attempt),
-    nextCheck,
-  ];
+  return [describe('continued'), ...openContinuation(forwarding, plan, context), nextCheck];
 };
 
 const toSilentEnd = (attempt: Attempt, { inputs }: RequestsContext): AttemptEnd => {
@@ -124,9 +132,8 @@
   context: RequestsContext,
 ): Effects => {
   const others = [...forwarding.attempts.values()].filter((other) => other !== attempt);
-  if (others.length === 0) return [];
-  const isContinued = others.some(({ phase }) => phase !== 'connecting');
-  if (!isContinued) return [scheduleOverlapEnd(forwarding, attempt)];
+  // Each continuation has an overlap of its own, from the time at which it is sent.
+  if (!others.some(({ phase }) => phase !== 'connecting')) return [];
   return [
     { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
     ...endAttempt(forwarding, attempt, toSilentEnd(attempt, context), context),
