Answer what was read before stray bytes or a late head end a connection

What callers saw (shown by a test): a caller whose bytes after a whole request are no request got 400 as the answer to that request, which an endpoint was running, and the request was cancelled there; a caller whose next head was not completed in time got no answer to the request before it at all (LOST).

Cause: the error of the HTTP server ended the connection at once, whatever else was due on it.

Change: the answers that are due on each connection are known (answerQueues.ts). The connection is closed, with the 400 for stray bytes, once all requests that were read whole have their answers. A caller that leaves meanwhile still ends them. A request that is being read ends at once, as before.

--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -188,10 +188,15 @@
   server.on('clientError', (error, socket) => {
     // Reports only parse errors; a broken connection is handled by the `close` of its request.
     const isUnreadable = getCode(error).startsWith('HPE_');
-    connections.recordSocketCause(socket, classifyClientError(error));
+    const cause = classifyClientError(error);
+    const close = (): void => {
+      connections.recordSocketCause(socket, cause);
+      if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
+      else socket.destroy();
+    };
     if (isUnreadable) responders.reportUnreadable(error);
-    if (isUnreadable && socket.writable) socket.end(BAD_REQUEST_RESPONSE);
-    else socket.destroy();
+    if (cause === 'caller') close();
+    else responders.closeAfterAnswers(socket, close);
   });
 
   return {
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -1,4 +1,6 @@
 import type { ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { createAnswerQueues } from './answerQueues.js';
 import type { ConnectionTracker } from './connections.js';
 import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import type { ConnectionEndCause } from './types.js';
@@ -26,6 +28,8 @@
   readonly refuse: (key: number, failure: Failure) => void;
   /** Closes the connection without completing the answer; the cause is logged. */
   readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
+  /** Closes a connection once all requests that have been read whole on it have their answers. */
+  readonly closeAfterAnswers: (socket: Duplex, close: () => void) => void;
   /** Refuses all requests after the loss of their state. */
   readonly refuseAll: (failure: Failure) => void;
   /** Breaks the answers that would look complete when their connections are closed. */
@@ -71,6 +75,7 @@
   onUnreadable: (error: Error) => void,
 ): Responders => {
   const open = new Map<number, OpenAnswer>();
+  const queues = createAnswerQueues();
   /** Answers that end with their connections, and of which not all bytes were sent. */
   const unframed = new Set<ServerResponse>();
   let phase: 'serving' | 'draining' = 'serving';
@@ -152,6 +157,7 @@
 
   return {
     open: (key, requestId, response) => {
+      queues.add(response);
       open.set(key, { requestId, response });
     },
     has: (key) => open.has(key),
@@ -183,6 +189,7 @@
       refuseWith(key, failure, 'answer-broken');
     },
     breakAnswer,
+    closeAfterAnswers: queues.closeAfterAnswers,
     refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
     },
