--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -16,7 +16,7 @@
 } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
 import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
-import { checkStall, endSilentAttempt } from './silence.js';
+import { checkStall, endSilentAttempt, startOverlap } from './silence.js';
 import type {
   Attempt,
   Effects,
@@ -207,9 +207,13 @@
   context: RequestsContext,
 ): Effects => {
   switch (event.kind) {
-    case 'attempt-sent':
-      if (attempt.phase === 'connecting') attempt.phase = 'sent';
-      return [];
+    case 'attempt-connected':
+      // From here on the endpoint may run the request, whatever else waits in the event queue.
+      attempt.phase = 'sent';
+      return [
+        { kind: 'send-attempt', key: event.key, attempt: event.attempt },
+        ...startOverlap(forwarding, attempt),
+      ];
     case 'answer-started':
       return startAnswer(forwarding, attempt, event.head, context);
     case 'answer-continued':
@@ -249,7 +253,7 @@
       return expireRequest(forwarding, context);
     case 'placement-due':
       return forwarding.attempts.size > 0 ? [] : placeRequest(forwarding, 'first', context);
-    case 'attempt-sent':
+    case 'attempt-connected':
     case 'answer-started':
     case 'answer-continued':
     case 'answer-ended':
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { STALL_TARGET_FACTOR } from './constants.js';
 import {
   buildEvents,
   createRequestsHarness,
@@ -7,6 +8,7 @@
   SIGNED_HEAD,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
@@ -16,6 +18,15 @@
 /** Silence after which a stream is continued at another endpoint. */
 const LONG_SILENCE_MS = 3_700;
 
+/** Time by which a timer of a busy daemon is late. */
+const LATE_TIMER_MS = 150;
+
+/** Time for the way to an endpoint, its refusal and the way back. */
+const REFUSAL_MS = 50;
+
+/** Time from the opening of a continuation until the end of `LONG_SILENCE_MS`. */
+const SINCE_OPENED_MS = LONG_SILENCE_MS - MEMO_ROUTE.targetMs * STALL_TARGET_FACTOR;
+
 /** Time for which two endpoints may work on the same generation. */
 const MAX_OVERLAP_MS = 400;
 
@@ -35,7 +46,7 @@
 };
 
 const startAnswer = (harness: RequestsHarness, order: AttemptOrder, head = SIGNED_HEAD) => {
-  harness.post({ ...toEvent(order), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   return harness.post({ ...toEvent(order), kind: 'answer-started', head });
 };
 
@@ -125,6 +136,20 @@
   }
 });
 
+// Guards against two endpoints that work on one generation for longer than the users allow because the
+// timer that ends the overlap comes late on a busy daemon.
+test('a late timer does not prolong the overlap beyond what the users allow', (t) => {
+  const harness = createRequestsHarness();
+  startStream(harness, '/memo/1');
+  const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+  const sent = harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  const overlapMs = sent.flatMap((effect) =>
+    effect.kind === 'schedule' && effect.event.kind === 'overlap-ended' ? [effect.delayMs] : [],
+  );
+  t.is(overlapMs.length, 1);
+  t.true(Math.max(...overlapMs) + LATE_TIMER_MS <= MAX_OVERLAP_MS);
+});
+
 // Guards against events that the caller gets twice, and against work for nobody, when the silent
 // endpoint goes on while its stream is being continued.
 test('the endpoint whose event comes first keeps the stream', (t) => {
@@ -215,3 +240,19 @@
   const resumed = getOrder(harness.post({ ...toEvent(order), kind: 'attempt-failed', failure }));
   t.deepEqual(resumed.address, continuation.address);
 });
+
+// Guards against a lost stream when the connection to the endpoint that should continue it takes long:
+// the silent endpoint was given up as soon as the request was sent, before the other could refuse.
+test('a continuation that connects late can still refuse before the silent endpoint is given up', (t) => {
+  for (const connectMs of [280, 580]) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/memo/1');
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+    harness.wait(connectMs - SINCE_OPENED_MS);
+    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    t.is(findEffect(harness.wait(REFUSAL_MS), 'cancel-attempt'), undefined);
+    harness.post({ ...toEvent(continuation), kind: 'answer-started', head: REFUSED });
+    t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
+    t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+  }
+});
