Resume a generation by what is known of the endpoint that has it

Cause: a resumption looked for the endpoint in the list of placements, which leaves out data centres that are out of service and endpoints that were removed from the list. That list says where new work may go, not where running work may go on.

--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
-import { createFeedsLogic, isFeedStale } from './feeds.js';
+import { computeResumptionLimits, createFeedsLogic, isFeedStale } from './feeds.js';
 import type { PacingInputs } from './feeds.js';
 import type { FeedsState } from './feeds.js';
 import { createVirtualClock } from '../../core/clock.js';
@@ -10,7 +10,7 @@
 
 const buildPacingInputs = (daemons: number): PacingInputs => ({
   daemons,
-  stalenessLimits: { leavingMs: 2_000, outageMs: 3_000 },
+  stalenessLimits: { leavingMs: 2_000, dataCentreOutMs: 5_000, outageMs: 3_000 },
 });
 
 const toPosition = (offset: number, epoch = 1): FeedPosition => ({ epoch, offset });
@@ -245,3 +245,14 @@
   });
   t.like(effects.at(-1), { kind: 'read-feed', position: { epoch: null, offset: 10 } });
 });
+
+// Guards against requests to a leaving endpoint, or to a data centre that is out, which are in time by
+// when this daemon learnt of it, but late by when the store acknowledged it.
+test('the time until a daemon learns is deducted from the limits of resumptions', (t) => {
+  t.deepEqual(computeResumptionLimits(buildPacingInputs(4)), {
+    leavingMs: 2_000 - 440 - FEED_STALENESS_MARGIN_MS,
+    dataCentreOutMs: 2_000,
+  });
+  const { leavingMs } = computeResumptionLimits(buildPacingInputs(100));
+  t.is(leavingMs, 2_000 - 1_100 - FEED_STALENESS_MARGIN_MS);
+});
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -17,6 +17,7 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
+import type { ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
 import type {
   FeedName,
@@ -120,6 +121,22 @@
   }
 };
 
+/**
+ * Computes for how long a generation may still resume at an endpoint that gets no new requests. The
+ * times within which the endpoint must get its last request count from the acknowledgement of the
+ * store, so the longest time until this daemon learns of it is deducted.
+ *
+ * @param pacing - values from which the pauses between reads are computed
+ * @returns the limits, from the instants at which this daemon learns
+ */
+export const computeResumptionLimits = (pacing: PacingInputs): ResumptionLimits => {
+  const { dataCentreOutMs, leavingMs, outageMs } = pacing.stalenessLimits;
+  return {
+    leavingMs: leavingMs - computePause('registrations', pacing) - FEED_STALENESS_MARGIN_MS,
+    dataCentreOutMs: dataCentreOutMs - outageMs,
+  };
+};
+
 const readFeed = (feed: FeedName, state: FeedState, pacing: PacingInputs): GatewayEffect =>
   state.kind === 'loading'
     ? { kind: 'load-feed', feed }
--- a/packages/gateway/membership/dataCentres.ts
+++ b/packages/gateway/membership/dataCentres.ts
@@ -8,7 +8,8 @@
  * restored store may lack an order that has to be held.
  */
 export interface DataCentresState {
-  readonly dataCentresOut: Set<DataCentreId>;
+  /** With the instants at which this daemon learnt that they are out. */
+  readonly dataCentresOut: Map<DataCentreId, Millis>;
   /**
    * Those whose order is missing from the copy from which the store was restored, with the instants
    * at which that was read.
@@ -22,7 +23,7 @@
  * @returns the state
  */
 export const createDataCentres = (): DataCentresState => ({
-  dataCentresOut: new Set(),
+  dataCentresOut: new Map(),
   dataCentresHeld: new Map(),
 });
 
@@ -37,10 +38,11 @@
 const addDataCentre = (
   { dataCentresHeld, dataCentresOut }: DataCentresState,
   dataCentre: DataCentreId,
+  now: Millis,
 ): GatewayEffect[] => {
   dataCentresHeld.delete(dataCentre);
   if (dataCentresOut.has(dataCentre)) return [];
-  dataCentresOut.add(dataCentre);
+  dataCentresOut.set(dataCentre, now);
   return [describeDataCentre(dataCentre, 'out')];
 };
 
@@ -103,13 +105,13 @@
   for (const change of changes) {
     if (change.kind === 'data-centre-out') {
       ordered.add(change.dataCentre);
-      effects.push(...addDataCentre(state, change.dataCentre));
+      effects.push(...addDataCentre(state, change.dataCentre, now));
     } else if (change.kind === 'data-centre-in') {
       effects.push(...removeDataCentre(state, change.dataCentre));
     }
   }
   if (scope === 'changed') return effects;
-  const missing = [...state.dataCentresOut].filter((name) => !ordered.has(name));
+  const missing = [...state.dataCentresOut.keys()].filter((name) => !ordered.has(name));
   return [...effects, ...missing.flatMap((name) => applyMissing(state, name, scope, now))];
 };
 
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -2,9 +2,11 @@
 import {
   UNCERTAIN_REMOVAL_DELAY_MS,
   LEAVING_REPORT_VALIDITY_MS,
+  MAX_DEPARTED_ENDPOINTS,
   MAX_GONE_INCARNATIONS,
 } from './constants.js';
 import { createDataCentres } from './dataCentres.js';
+import { findHolder } from './holders.js';
 import { createMembershipLogic, listLeaving } from './membership.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
@@ -342,3 +344,61 @@
   t.deepEqual(harness.list(), ['e-4', 'e-1', 'e-3']);
   t.is(harness.getState().endpoints.get('e-1')?.record.phase, 'leaving');
 });
+
+// Guards against a generation that is lost although the endpoint that was removed from the list, or whose
+// data centre is out, still has it.
+test('endpoints that get no new requests are still known as holders of generations', (t) => {
+  const harness = createHarness();
+  const holder = buildEndpoint('e-1');
+  const find = () => findHolder(holder, harness.getState());
+  harness.change([register('e-1')]);
+  t.deepEqual(find(), { kind: 'known', leavingAt: null, dataCentreOutAt: null });
+  harness.clock.advance(100);
+  harness.post({
+    to: 'membership',
+    kind: 'data-centres-changed',
+    changes: [{ kind: 'data-centre-out', dataCentre: 'dc-a' }],
+    scope: 'changed',
+  });
+  t.deepEqual(find(), { kind: 'known', leavingAt: null, dataCentreOutAt: 1_100 });
+  harness.clock.advance(100);
+  harness.change([register('e-1', { phase: 'leaving' })]);
+  t.deepEqual(find(), { kind: 'known', leavingAt: 1_200, dataCentreOutAt: 1_100 });
+  harness.clock.advance(100);
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+  t.deepEqual(find(), { kind: 'known', leavingAt: 1_200, dataCentreOutAt: 1_100 });
+});
+
+// Guards against a request to a leaving endpoint after its notice because the removal was confirmed late.
+test('the notice of a holder counts from the first read of its removal', (t) => {
+  const harness = createHarness();
+  harness.change([register('e-1')]);
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', UNCERTAIN);
+  harness.clock.advance(UNCERTAIN_REMOVAL_DELAY_MS);
+  harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
+  t.like(findHolder(buildEndpoint('e-1'), harness.getState()), { leavingAt: 1_000 });
+});
+
+// Guards against a generation that resumes at a new incarnation of its holder, which has lost it.
+test('a new incarnation of an endpoint is not the holder', (t) => {
+  const harness = createHarness();
+  const find = () => findHolder(buildEndpoint('e-1'), harness.getState());
+  t.deepEqual(find(), { kind: 'lost' });
+  harness.change([register('e-1')]);
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+  harness.change([register('e-1', { startedAt: 2 })]);
+  t.deepEqual(find(), { kind: 'lost' });
+  harness.change([{ kind: 'endpoint-removed', id: 'e-1' }]);
+  t.deepEqual(find(), { kind: 'lost' });
+});
+
+// Guards against memory that grows with every endpoint that ever left.
+test('the removed endpoints that are remembered are limited', (t) => {
+  const harness = createHarness();
+  for (let index = 0; index <= MAX_DEPARTED_ENDPOINTS; index += 1) {
+    const id = `e-${index.toString()}`;
+    harness.change([register(id), { kind: 'endpoint-removed', id }]);
+  }
+  t.is(harness.getState().departed.size, MAX_DEPARTED_ENDPOINTS);
+  t.deepEqual(findHolder(buildEndpoint('e-0'), harness.getState()), { kind: 'lost' });
+});
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -6,6 +6,8 @@
 } from './constants.js';
 import { applyDataCentres, endHold } from './dataCentres.js';
 import type { DataCentresState } from './dataCentres.js';
+import { isSameIncarnation, recordDeparted } from './holders.js';
+import type { DepartedEndpoint } from './holders.js';
 import { isOutdated, isSameRecord, recordGone } from './recordOrder.js';
 import type { GoneIncarnations } from './recordOrder.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -58,6 +60,7 @@
    * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
    */
   readonly removed: Map<EndpointId, Millis>;
+  readonly departed: Map<EndpointId, DepartedEndpoint>;
   readonly gone: GoneIncarnations;
 }
 
@@ -114,13 +117,14 @@
 ];
 
 const pruneEndpoint = (
-  { endpoints, gone, removed }: MembershipState,
+  { departed, endpoints, gone, removed }: MembershipState,
   known: KnownEndpoint,
   removal: RemovalCertainty['kind'],
   now: Millis,
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
+  recordDeparted(departed, known, now);
   recordGone(gone, known.record, removal === 'certain' ? 'ignored' : 'applied');
   // The other daemons already know of an endpoint that was reported as leaving.
   if (known.leavingAt === null) removed.set(id, now);
@@ -129,11 +133,6 @@
   return [describeEndpoint(known.record, 'removed'), ...notifyLeaving(id)];
 };
 
-const isNewIncarnation = (known: KnownEndpoint, record: EndpointRecord): boolean =>
-  known.record.startedAt !== record.startedAt ||
-  known.record.address.host !== record.address.host ||
-  known.record.address.port !== record.address.port;
-
 /**
  * Reports whether the endpoint was recently reported as leaving. Such a report overrides a
  * registration, which may have been written before it. It expires, since it may come from an
@@ -160,7 +159,7 @@
   const known = endpoints.get(registered.id);
   if (isOutdated(registered, known?.record, gone, removals)) return [describeOutdated(registered)];
   gone.delete(registered.id);
-  const isNew = known === undefined || isNewIncarnation(known, registered);
+  const isNew = known === undefined || !isSameIncarnation(known.record, registered);
   const isLeaving =
     !isNew &&
     (hasValidLeavingReport(known, now) ||
@@ -346,6 +345,7 @@
         loaded: 'no',
         endpoints: new Map(),
         removed: new Map(),
+        departed: new Map(),
         gone,
         ...dataCentres,
       },
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -9,6 +9,7 @@
 import { applyRequestLimits, recordSent } from './requestLimits.js';
 import { checkRequestContent } from './content.js';
 import { refuseOverloaded, refuseQuarantined, refuseUnplaced } from './unplaced.js';
+import { NO_LOAD } from './load.js';
 import { releaseCopy } from './generationCopy.js';
 import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
@@ -28,7 +29,12 @@
   placeAttempt,
   placeTransfer,
 } from '../../decisions/forwarding/placeAttempt.js';
-import type { Candidate, PlacementCriteria } from '../../decisions/forwarding/placeAttempt.js';
+import type {
+  Candidate,
+  EndpointLoad,
+  PlacementCriteria,
+} from '../../decisions/forwarding/placeAttempt.js';
+import { isResumableAt } from '../../decisions/forwarding/resumption.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyReference } from '../types.js';
@@ -97,7 +103,9 @@
 
 /** Endpoint and purpose of an attempt, and the copy from which it resumes. */
 export interface AttemptPlan {
-  readonly candidate: Candidate;
+  readonly endpoint: EndpointRecord;
+  /** Load of the endpoint, as far as it is known. */
+  readonly load: EndpointLoad;
   /** Endpoints from which the one of the backup is chosen. */
   readonly candidates: readonly Candidate[];
   readonly purpose: AttemptPurpose;
@@ -121,10 +129,9 @@
   context: RequestsContext,
 ): Effects => {
   const { state, inputs } = context;
-  const { candidates } = plan;
+  const { candidates, endpoint, load } = plan;
   const { customer, request, route, service } = forwarding;
   const now = inputs.clock.now();
-  const endpoint = plan.candidate.record;
   const backup = chooseBackup(forwarding, endpoint, candidates, context);
   forwarding.attemptsMade += 1;
   forwarding.tried.add(endpoint.id);
@@ -181,8 +188,8 @@
           attempt: attempt.number,
           purpose: plan.purpose,
           candidates: candidates.length,
-          load: plan.candidate.load.requests,
-          tokens: plan.candidate.load.tokens,
+          load: load.requests,
+          tokens: load.tokens,
           backup: backup?.id ?? '',
           leftMs: Math.round(forwarding.deadlineAt - now),
           promptParts: request.promptParts,
@@ -244,7 +251,9 @@
       !hasCapacity(candidate, criteria) && waitedMs < route.targetMs * MAX_CAPACITY_WAIT_SHARE;
     if (isWaitingForCapacity) return [retryPlacement];
     if (isOverloaded(candidate, criteria)) return refuseOverloaded(forwarding, context);
-    return openAttempt(forwarding, { candidate, candidates, purpose, copy: null }, context);
+    const { load, record } = candidate;
+    const plan = { endpoint: record, load, candidates, purpose, copy: null };
+    return openAttempt(forwarding, plan, context);
   }
   if (waitedMs < route.targetMs * MAX_PLACEMENT_WAIT_SHARE) return [retryPlacement];
   const isLimited = candidates.some(({ limitHeadroom }) => limitHeadroom !== null);
@@ -252,28 +261,25 @@
   return refuseUnplaced(forwarding, 'no endpoint of the service is available', context);
 };
 
-const isSameIncarnation = (left: EndpointRecord, right: EndpointRecord): boolean =>
-  left.id === right.id && left.startedAt === right.startedAt;
-
 /**
- * Plans an attempt that resumes a generation at the endpoint that holds its copy.
+ * Plans an attempt that resumes a generation at the endpoint that holds its copy. That endpoint may
+ * have left the candidates of placements since: it gets no new requests, but finishes what it holds.
  *
  * @param forwarding - request
  * @param location - endpoint that holds the copy, and the reference to it
  * @param context - state and inputs
- * @returns the plan, or null when that endpoint is not available
+ * @returns the plan, or null when that endpoint must not be used any more
  */
 export const planFromCopy = (
   forwarding: Forwarding,
   { holder, name }: CopyLocation,
   context: RequestsContext,
 ): AttemptPlan | null => {
+  const { clock, findHolder, getResumptionLimits } = context.inputs;
+  if (!isResumableAt(findHolder(holder), getResumptionLimits(), clock.now())) return null;
   const candidates = listCandidates(forwarding, context);
-  // An endpoint that restarted under the same id has lost the copy.
-  const candidate = candidates.find(({ record }) => isSameIncarnation(record, holder));
-  return candidate === undefined
-    ? null
-    : { candidate, candidates, purpose: 'continuation', copy: name };
+  const load = candidates.find(({ record }) => record.id === holder.id)?.load ?? NO_LOAD;
+  return { endpoint: holder, load, candidates, purpose: 'continuation', copy: name };
 };
 
 /**
@@ -297,7 +303,8 @@
   const criteria = buildCriteria(forwarding, inputs);
   const candidate = placeAttempt(candidates, criteria, inputs.random);
   if (candidate === null || !hasCapacity(candidate, criteria)) return null;
-  return { candidate, candidates, purpose, copy: null };
+  const { load, record } = candidate;
+  return { endpoint: record, load, candidates, purpose, copy: null };
 };
 
 /**
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -13,6 +13,7 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { RequestLimit } from '../../decisions/forwarding/requestLimit.js';
+import type { HolderState, ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { EndpointRecord, ForwardRequest } from '../../decisions/forwarding/types.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
 import type { AttemptOrder, GatewayEffect, ProbeResult, RequestsEvent } from '../events.js';
@@ -32,10 +33,15 @@
   framing: 'framed',
 };
 
+/** Times for which a generation may resume at an endpoint that gets no new requests. */
+export const RESUMPTION_LIMITS: ResumptionLimits = { leavingMs: 1_200, dataCentreOutMs: 2_000 };
+
 /** The requests child with a virtual clock and inputs that a test can change. */
 export interface RequestsHarness {
   readonly endpoints: EndpointRecord[];
   readonly quarantine: QuarantineState;
+  /** What is known of endpoints that are not in `endpoints`; they are lost at first. */
+  readonly holders: Map<EndpointId, HolderState>;
   /** Loads of endpoints; none at first. */
   readonly loads: Map<EndpointId, EndpointLoad>;
   /** Limits that endpoints state. */
@@ -58,6 +64,7 @@
   readonly setDrain: (drain: DrainTimes | null) => void;
   /** Sets whether the retry budget permits retries; `available` at first. */
   readonly setRetries: (state: 'available' | 'spent') => void;
+  readonly getNow: () => number;
 }
 
 interface Timer {
@@ -86,6 +93,7 @@
   const quarantineState = quarantine.init().state;
   const limits = new Map<string, RequestLimit>();
   const loads = new Map<string, EndpointLoad>();
+  const holders = new Map<EndpointId, HolderState>();
   let probeResult: ProbeResult = 'reachable';
   const peerPrioritySources = new Set<string>();
   let table = buildRoutingTable(CONFIGURATION);
@@ -109,6 +117,14 @@
             load: loads.get(record.id) ?? NO_LOAD,
           }),
         ),
+    findHolder: ({ id, startedAt }) => {
+      const known = endpoints.find((record) => record.id === id);
+      if (known === undefined) return holders.get(id) ?? { kind: 'lost' };
+      return known.startedAt === startedAt
+        ? (holders.get(id) ?? { kind: 'known', leavingAt: null, dataCentreOutAt: null })
+        : { kind: 'lost' };
+    },
+    getResumptionLimits: () => RESUMPTION_LIMITS,
     countDaemons: () => 1,
     getDrain: () => drain,
     hasPeerWithHigherPriority: (source) => peerPrioritySources.has(source),
@@ -121,7 +137,7 @@
       },
       graceMs: 8_000,
       coldOvershoot: 1.5,
-      learnWithin: { leavingMs: 2_000, outageMs: 3_000 },
+      learnWithin: { leavingMs: 2_000, dataCentreOutMs: 5_000, outageMs: 3_000 },
     }),
     isLimited: (endpoint) => limits.has(endpoint),
     hasCrashes: () => quarantineState.evidence.reports.size > 0,
@@ -153,6 +169,7 @@
   return {
     endpoints,
     quarantine: quarantineState,
+    holders,
     limits,
     loads,
     peerPrioritySources,
@@ -191,6 +208,7 @@
       return effects;
     },
     countOpen: () => state.inFlight.size,
+    getNow: () => clock.now(),
     setProbeResult: (next) => {
       probeResult = next;
     },
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -4,6 +4,7 @@
   createRequestsHarness,
   findEffect,
   findAttemptOrders,
+  RESUMPTION_LIMITS,
   SIGNED_HEAD,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
@@ -285,6 +286,65 @@
   t.is(findEffect(effects, 'break-answer'), undefined);
 });
 
+const removeTarget = (harness: RequestsHarness, port: number | undefined): string => {
+  const index = harness.endpoints.findIndex(({ address }) => address.port === port);
+  const [target] = harness.endpoints.splice(index, 1);
+  if (target === undefined) throw new Error('the transfer has no target');
+  return target.id;
+};
+
+/** Transfers a generation to an endpoint that is taken from the candidates during the transfer. */
+const resumeUnlisted = (
+  changeHolders: (harness: RequestsHarness, source: string, target: string) => void,
+) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  const [copy] = findTransfers(postLeaving(harness));
+  endStep(harness, order, COPIED);
+  const target = removeTarget(harness, copy?.order.target.port);
+  harness.endpoints.splice(0, 1);
+  changeHolders(harness, order.head.endpointId, target);
+  const effects = endStep(harness, order, COPIED);
+  return { harness, order, target: copy?.order.target, effects };
+};
+
+// Guards against a lost generation whose source was removed and whose target's data centre was taken out
+// during the transfer, although both still have it (found on clt-pool, leaving-evacuate, seed 26001).
+test('a stopped generation resumes at its target when no endpoint gets new requests', (t) => {
+  const { effects, target } = resumeUnlisted((harness, source, id) => {
+    const now = harness.getNow();
+    harness.holders.set(source, { kind: 'known', leavingAt: now - 310, dataCentreOutAt: null });
+    harness.holders.set(id, { kind: 'known', leavingAt: null, dataCentreOutAt: now - 140 });
+  });
+  const [next] = findAttemptOrders(effects);
+  t.deepEqual(next?.address, target);
+  t.is(next?.head.lastEventId, '9');
+  t.is(findEffect(effects, 'break-answer'), undefined);
+});
+
+// Guards against a generation that is lost with its target although its removed source still has it.
+test('a stopped generation resumes at its removed source when the target is lost', (t) => {
+  const { effects, order } = resumeUnlisted((harness, source) => {
+    const leavingAt = harness.getNow() - 310;
+    harness.holders.set(source, { kind: 'known', leavingAt, dataCentreOutAt: null });
+  });
+  t.deepEqual(findAttemptOrders(effects)[0]?.address, order.address);
+});
+
+// Guards against a request that reaches a leaving endpoint after its notice, or a data centre that is out
+// after the time in which its work has to end.
+test('a stopped generation does not resume where its request would arrive too late', (t) => {
+  const { effects } = resumeUnlisted((harness, source, id) => {
+    const now = harness.getNow();
+    const leavingAt = now - RESUMPTION_LIMITS.leavingMs;
+    const dataCentreOutAt = now - RESUMPTION_LIMITS.dataCentreOutMs;
+    harness.holders.set(source, { kind: 'known', leavingAt, dataCentreOutAt: null });
+    harness.holders.set(id, { kind: 'known', leavingAt: null, dataCentreOutAt });
+  });
+  t.deepEqual(findAttemptOrders(effects), []);
+  t.truthy(findEffect(effects, 'break-answer'));
+});
+
 // Guards against memory that the copy of an ended generation keeps in use.
 test('a copy is released when its generation ends first', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from '../../core/random.js';
 import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
+import type { HolderState, ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
 import type { ContentCheck } from '../../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints } from '../../decisions/quarantine/types.js';
@@ -142,6 +143,9 @@
   readonly dataCentre: DataCentreId;
   readonly getRoutingTable: () => RoutingTable | null;
   readonly listEndpoints: (service: ServiceName) => readonly Candidate[];
+  /** Finds what is known of an endpoint that holds the memory of a generation. */
+  readonly findHolder: (holder: EndpointRecord) => HolderState;
+  readonly getResumptionLimits: () => ResumptionLimits;
   readonly countDaemons: () => number;
   /** Progress of the drain; null while the daemon is not draining. */
   readonly getDrain: () => DrainTimes | null;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -41,6 +41,8 @@
 export interface StalenessLimits {
   /** Time within which a daemon has to learn that an endpoint leaves. */
   readonly leavingMs: Millis;
+  /** Time within which a daemon has to learn that a data centre is out of service. */
+  readonly dataCentreOutMs: Millis;
   /** Time after a disruption of the daemon's connections from which the other limits apply. */
   readonly outageMs: Millis;
 }
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -6,7 +6,7 @@
 import { createEndpointClient } from './endpoints/endpointClient.js';
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
-import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
+import { computeResumptionLimits, createFeedsLogic, isFeedStale } from './feeds/feeds.js';
 import type { PacingInputs } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
@@ -17,6 +17,7 @@
 import type { Responders } from './frontend/responders.js';
 import { listCandidates, listLimits } from './membership/candidates.js';
 import { createDataCentres } from './membership/dataCentres.js';
+import { findHolder } from './membership/holders.js';
 import { createMembershipLogic, listLeaving } from './membership/membership.js';
 import { createMovesLogic, createNewestMoves } from './moves/moves.js';
 import { buildCrashMessage } from './peers/crashReports.js';
@@ -192,6 +193,8 @@
       dataCentre: settings.dataCentre,
       getRoutingTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, limitInputs, clock.now()),
+      findHolder: (holder) => findHolder(holder, states.membership),
+      getResumptionLimits: () => computeResumptionLimits(getPacingInputs()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
       hasPeerWithHigherPriority: (source, priority) =>
