Transfer a generation again that is back at its leaving source

Cause: only the notice that an endpoint leaves starts a transfer, for the generations that run there at that moment. A generation that came back to its source (its target had no room, refused it or was lost), one whose first order failed, and one that resumed at a target which had begun to leave meanwhile were never transferred again.

Change: an attempt that opens at a leaving endpoint, and one whose first order failed, wait for their transfer: 100 ms, then twice as long each time, as a transfer that fails after the source stopped interrupts the stream. Targets that refused are passed over. After a failed second order nothing is tried, since the generation resumes from its first copy.

--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -13,6 +13,7 @@
 import { releaseCopy } from './generationCopy.js';
 import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
+import { waitForTransfer } from './transferTurns.js';
 import type {
   Attempt,
   AttemptPurpose,
@@ -21,6 +22,7 @@
   RequestsContext,
   RequestsInputs,
 } from './types.js';
+import type { EndpointId } from '../../core/ids.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
   hasCapacity,
@@ -113,6 +115,8 @@
   readonly copy: CopyReference | null;
   /** Copy to resume from if the endpoint refuses. */
   readonly fallback?: CopyLocation;
+  /** Endpoints that refused a transfer of the generation; none if not given. */
+  readonly refusedTargets?: ReadonlySet<EndpointId>;
 }
 
 /**
@@ -151,7 +155,7 @@
     transfer: null,
     copy: null,
     fallback: plan.fallback ?? null,
-    refusedTargets: new Set(),
+    refusedTargets: new Set(plan.refusedTargets),
     streamState: 'open',
     failure: null,
   };
@@ -200,6 +204,7 @@
     // Others would place their next generations there, too, as long as they do not know of this one.
     ...(service.engine === null ? [] : [REPORT_TO_PEERS]),
     ...scheduleChecks(forwarding, attempt),
+    ...waitForTransfer({ forwarding, attempt }, context),
   ];
 };
 
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -110,6 +110,7 @@
   attemptsMade: 0,
   possibleRuns: 0,
   notRunAttempts: 0,
+  repeatedTransfers: 0,
   verdict: 'not-run',
   delivered: 'nothing',
   lastEventId: request.lastEventId,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -195,7 +195,8 @@
   if (fallback === null || fallback.holder.id === endpoint.id) return null;
   const plan = planFromCopy(forwarding, fallback, context);
   if (plan === null || takeFromBudget(forwarding, context) === 'spent') return null;
-  return openContinuation(forwarding, plan, context);
+  const refusedTargets = new Set([endpoint.id]);
+  return openContinuation(forwarding, { ...plan, refusedTargets }, context);
 };
 
 const retryNotRun = (
--- /dev/null
+++ b/packages/gateway/requests/transferTurns.ts
@@ -0,0 +1,104 @@
+import { TRANSFER_RETRY_MS } from './constants.js';
+import { REPORT_TO_PEERS } from './peerReports.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import type { Millis } from '../../core/clock.js';
+import type { EndpointId } from '../../core/ids.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
+import type { GatewayEffect } from '../events.js';
+
+/** A running generation: its request, and the attempt at the endpoint that runs it. */
+export interface RunningGeneration {
+  readonly forwarding: Forwarding;
+  readonly attempt: Attempt;
+}
+
+/**
+ * Describes a step of a transfer.
+ *
+ * @param run - generation
+ * @param step - name of the step
+ * @param target - endpoint to which the generation is transferred; null before one is chosen
+ * @returns the log line
+ */
+export const describeTransfer = (
+  { attempt, forwarding }: RunningGeneration,
+  step: string,
+  target: EndpointRecord | null,
+): GatewayEffect => ({
+  kind: 'log',
+  name: 'transfer-step',
+  details: {
+    requestId: forwarding.request.id,
+    endpoint: attempt.endpoint.id,
+    entity: forwarding.route.name,
+    data: {
+      attempt: attempt.number,
+      step,
+      target: target?.id ?? '',
+      lastEventId: forwarding.lastEventId ?? '',
+    },
+  },
+});
+
+/**
+ * Schedules the start of the next transfer from an endpoint.
+ *
+ * @param source - endpoint that is leaving
+ * @param delayMs - delay of the start
+ * @returns effect
+ */
+export const scheduleNextTransfer = (source: EndpointId, delayMs: Millis): GatewayEffect => ({
+  kind: 'schedule',
+  delayMs,
+  event: { to: 'requests', kind: 'transfer-due', source },
+});
+
+const hasUsableBackup = ({ backup }: Attempt, context: RequestsContext): boolean =>
+  backup !== null &&
+  context.inputs
+    .listEndpoints(backup.service)
+    .some(({ record }) => record.id === backup.id && record.phase === 'ready');
+
+/**
+ * Reports whether a generation has to be transferred when its endpoint leaves.
+ *
+ * @param run - generation
+ * @param context - state and inputs
+ * @returns false when it can be started again, or when its transfer is under way
+ */
+export const isTransferNeeded = (
+  { attempt, forwarding }: RunningGeneration,
+  context: RequestsContext,
+): boolean =>
+  forwarding.route.answer === 'stream' &&
+  forwarding.route.resume === 'single-run' &&
+  attempt.transfer === null &&
+  // A generation with a usable backup fails over to it when its endpoint ends.
+  !hasUsableBackup(attempt, context);
+
+/**
+ * Lets a generation wait for its transfer if it resumes at a leaving endpoint, or if its transfer from
+ * there failed. Each transfer that fails after the source stopped interrupts the stream, so the delay
+ * doubles each time. One that would start after the notice of the endpoint is not tried.
+ *
+ * @param run - generation
+ * @param context - state and inputs
+ * @returns effects that schedule the start
+ */
+export const waitForTransfer = (run: RunningGeneration, context: RequestsContext): Effects => {
+  const { attempt, forwarding } = run;
+  const { clock, findHolder, getLiveSettings } = context.inputs;
+  const holder = findHolder(attempt.endpoint);
+  if (holder.kind === 'lost' || holder.leavingAt === null) return [];
+  if (!isTransferNeeded(run, context)) return [];
+  const delayMs = TRANSFER_RETRY_MS * 2 ** forwarding.repeatedTransfers;
+  const dueAt = clock.now() + delayMs;
+  if (dueAt >= holder.leavingAt + getLiveSettings().learnWithin.leavingMs) return [];
+  forwarding.repeatedTransfers += 1;
+  attempt.transfer = { phase: 'waiting', tries: 0, dueAt };
+  return [
+    describeTransfer(run, 'waiting', null),
+    REPORT_TO_PEERS,
+    scheduleNextTransfer(attempt.endpoint.id, delayMs),
+  ];
+};
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -44,6 +44,8 @@
 const postLeaving = (harness: RequestsHarness): readonly GatewayEffect[] => {
   const [first] = harness.endpoints;
   if (first !== undefined) harness.endpoints[0] = { ...first, phase: 'leaving' };
+  const leavingAt = harness.getNow();
+  harness.holders.set('e-1', { kind: 'known', leavingAt, dataCentreOutAt: null });
   return [
     ...harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint: 'e-1' }),
     ...harness.wait(25),
@@ -182,6 +184,118 @@
   t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-2' });
 });
 
+/** Fills the engines so far that generations get no backups, but can be transferred. */
+const addLoad = (harness: RequestsHarness): void => {
+  for (const { id } of harness.endpoints) {
+    harness.loads.set(id, { requests: 1, tokens: 5_000, waitingTokens: 0 });
+  }
+};
+
+/** Stops a generation whose target has no room any more, and lets it go on at its source. */
+const resumeAtSource = (harness: RequestsHarness, order: AttemptOrder): AttemptOrder => {
+  endStep(harness, order, COPIED);
+  const effects = endStep(harness, order, { kind: 'no-room', handle: 'h-2' });
+  const [back] = findAttemptOrders(effects) as [AttemptOrder];
+  const head = { ...SIGNED_HEAD, requestId: 'r-0' };
+  harness.post({ ...toEvent(back), kind: 'attempt-sent' });
+  harness.post({ ...toEvent(back), kind: 'answer-started', head });
+  return back;
+};
+
+// Guards against a generation that is lost with its leaving source because it came back there when a
+// transfer failed, and was never transferred again.
+test('a generation that is back at its leaving source is transferred again', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  addLoad(harness);
+  postLeaving(harness);
+  const back = resumeAtSource(harness, order);
+  t.deepEqual(findTransfers(harness.wait(90)), []);
+  const [copy] = findTransfers(harness.wait(20));
+  t.like(copy, { key: back.key, attempt: back.attempt });
+  t.deepEqual(copy?.order.source, order.address);
+});
+
+// Guards against the same when the target refuses the generation after the source stopped it.
+test('a generation that its target refused is transferred again to another', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  addLoad(harness);
+  postLeaving(harness);
+  endStep(harness, order, COPIED);
+  const [next] = findAttemptOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
+  harness.post({ ...toEvent(next), kind: 'attempt-sent' });
+  const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
+  const head = { ...SIGNED_HEAD, ...refusal, requestId: 'r-0' };
+  const effects = harness.post({ ...toEvent(next), kind: 'answer-started', head });
+  t.deepEqual(findAttemptOrders(effects)[0]?.address, order.address);
+  const [copy] = findTransfers(harness.wait(110));
+  t.deepEqual(copy?.order.source, order.address);
+  t.notDeepEqual(copy?.order.target, next.address);
+});
+
+// Guards against a generation that is never transferred because the order to copy it failed.
+test('a transfer whose first order fails is tried again', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  postLeaving(harness);
+  endStep(harness, order, { kind: 'failed', message: 'reset' });
+  t.deepEqual(findTransfers(harness.wait(90)), []);
+  t.is(findTransfers(harness.wait(20)).length, 1);
+});
+
+// Guards against a generation that is lost with its target, which began to leave during the transfer.
+test('a generation that resumes at a leaving target is transferred from there', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  addLoad(harness);
+  const [copy] = findTransfers(postLeaving(harness));
+  endStep(harness, order, COPIED);
+  const index = harness.endpoints.findIndex(
+    ({ address }) => address.port === copy?.order.target.port,
+  );
+  const target = harness.endpoints[index];
+  if (target === undefined) throw new Error('the transfer has no target');
+  harness.endpoints[index] = { ...target, phase: 'leaving' };
+  const leavingAt = harness.getNow();
+  harness.holders.set(target.id, { kind: 'known', leavingAt, dataCentreOutAt: null });
+  harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint: target.id });
+  const [next] = findAttemptOrders(endStep(harness, order, COPIED));
+  t.deepEqual(next?.address, target.address);
+  const [second] = findTransfers(harness.wait(110));
+  t.deepEqual(second?.order.source, target.address);
+});
+
+// Guards against a stream that is interrupted again and again.
+test('the repeated transfers of a generation back off', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  harness.endpoints.push(buildEndpoint('e-7'), buildEndpoint('e-8'));
+  addLoad(harness);
+  postLeaving(harness);
+  let running = order;
+  for (const delayMs of [100, 200, 400]) {
+    running = resumeAtSource(harness, running);
+    t.deepEqual(findTransfers(harness.wait(delayMs - 10)), []);
+    t.is(findTransfers(harness.wait(20)).length, 1);
+  }
+});
+
+// Guards against transfers from a source that may end at any time, which delay those of others.
+test('a failed transfer is not tried again after the notice of the source', (t) => {
+  for (const [failedAfterMs, transfers] of [
+    [1_850, 1],
+    [1_900, 0],
+  ] as const) {
+    const harness = createRequestsHarness();
+    const [order] = startMemos(harness, 1) as [AttemptOrder];
+    postLeaving(harness);
+    harness.wait(failedAfterMs - 25);
+    endStep(harness, order, { kind: 'failed', message: 'reset' });
+    t.is(findTransfers(harness.wait(3_000)).length, transfers);
+  }
+});
+
 // Guards against losing a generation when the second order fails, although the target already has
 // the first copy.
 test('a generation resumes from its first copy when the second copy fails', (t) => {
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -16,20 +16,20 @@
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
-import type { Attempt, Effects, Forwarding, RequestsContext, Transfer } from './types.js';
+import {
+  waitForTransfer,
+  describeTransfer,
+  isTransferNeeded,
+  scheduleNextTransfer,
+} from './transferTurns.js';
+import type { RunningGeneration } from './transferTurns.js';
+import type { Attempt, Effects, RequestsContext, Transfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
 
-/** A running generation: its request, and the attempt at the endpoint that runs it. */
-interface RunningGeneration {
-  readonly forwarding: Forwarding;
-  readonly attempt: Attempt;
-}
-
 const orderTransfer = (
   { attempt, forwarding }: RunningGeneration,
   target: EndpointRecord,
@@ -46,32 +46,6 @@
   };
 };
 
-const describeTransfer = (
-  { attempt, forwarding }: RunningGeneration,
-  step: string,
-  target: EndpointRecord | null,
-): GatewayEffect => ({
-  kind: 'log',
-  name: 'transfer-step',
-  details: {
-    requestId: forwarding.request.id,
-    endpoint: attempt.endpoint.id,
-    entity: forwarding.route.name,
-    data: {
-      attempt: attempt.number,
-      step,
-      target: target?.id ?? '',
-      lastEventId: forwarding.lastEventId ?? '',
-    },
-  },
-});
-
-const scheduleNextTransfer = (source: EndpointId, delayMs: Millis): GatewayEffect => ({
-  kind: 'schedule',
-  delayMs,
-  event: { to: 'requests', kind: 'transfer-due', source },
-});
-
 const listGenerationsAt = (
   source: EndpointId,
   { state }: RequestsContext,
@@ -82,19 +56,6 @@
       .map((attempt) => ({ forwarding, attempt })),
   );
 
-const hasUsableBackup = ({ backup }: Attempt, context: RequestsContext): boolean =>
-  backup !== null &&
-  context.inputs
-    .listEndpoints(backup.service)
-    .some(({ record }) => record.id === backup.id && record.phase === 'ready');
-
-const isTransferNeeded = ({ attempt, forwarding }: RunningGeneration, context: RequestsContext) =>
-  forwarding.route.answer === 'stream' &&
-  forwarding.route.resume === 'single-run' &&
-  attempt.transfer === null &&
-  // A generation with a usable backup fails over to it when its endpoint ends.
-  !hasUsableBackup(attempt, context);
-
 const comparePriority = (left: RunningGeneration, right: RunningGeneration): number =>
   computeTransferPriority(right.forwarding) - computeTransferPriority(left.forwarding);
 
@@ -197,9 +158,11 @@
     planFromCopy(forwarding, fallback, context);
   if (plan !== null) {
     forwarding.attempts.delete(attempt.number);
+    const isBack = plan.endpoint.id === attempt.endpoint.id;
+    const refused = isBack ? { refusedTargets: attempt.refusedTargets } : {};
     return [
       { kind: 'cancel-attempt', key, attempt: attempt.number },
-      ...openContinuation(forwarding, { ...plan, fallback }, context),
+      ...openContinuation(forwarding, { ...plan, fallback, ...refused }, context),
     ];
   }
   const end = {
@@ -266,7 +229,10 @@
 ): Effects => {
   const { attempt, forwarding } = run;
   const released = [describeTransfer(run, reason, transfer.target), ...endTransfer(run)];
-  if (attempt.streamState === 'open') return released;
+  if (attempt.streamState === 'open') {
+    // From a first copy the generation resumes when its source ends.
+    return attempt.copy === null ? [...released, ...waitForTransfer(run, context)] : released;
+  }
   const end = { kind: 'broken', message: 'the transfer failed' } as const;
   return [...released, ...endAttempt(forwarding, attempt, end, context)];
 };
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -106,6 +106,8 @@
   attemptsMade: number;
   /** Number of ended attempts that may have run the request. */
   possibleRuns: number;
+  /** Number of times that the generation waited for its transfer again. */
+  repeatedTransfers: number;
   /** Number of attempts that ended without running the request. */
   notRunAttempts: number;
   verdict: 'not-run' | 'may-have-run';
