Do not stop a generation whose transfer target was lost during the copy

Cause: a generation was stopped without a look at what had become of its target since the copy began. It then resumed at its source, which interrupts the stream for nothing, or was cut if the notice of the source had run out.

Change: if the target was lost, or no request may reach it any more, the copy is released and the transfer tried again before the generation is stopped.

Evidence: "a generation is not stopped when its target is lost during the copy" failed on: the order to stop was sent.

--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -266,6 +266,16 @@
   return refuseUnplaced(forwarding, 'no endpoint of the service is available', context);
 };
 
+/**
+ * Reports whether a generation may resume at the endpoint that holds its copy.
+ *
+ * @param holder - endpoint
+ * @param context - state and inputs
+ * @returns false when the copy is lost, or a request would arrive too late
+ */
+export const isHolderUsable = (holder: EndpointRecord, { inputs }: RequestsContext): boolean =>
+  isResumableAt(inputs.findHolder(holder), inputs.getResumptionLimits(), inputs.clock.now());
+
 /**
  * Plans an attempt that resumes a generation at the endpoint that holds its copy. That endpoint may
  * have left the candidates of placements since: it gets no new requests, but finishes what it holds.
@@ -280,8 +290,7 @@
   { holder, name }: CopyLocation,
   context: RequestsContext,
 ): AttemptPlan | null => {
-  const { clock, findHolder, getResumptionLimits } = context.inputs;
-  if (!isResumableAt(findHolder(holder), getResumptionLimits(), clock.now())) return null;
+  if (!isHolderUsable(holder, context)) return null;
   const candidates = listCandidates(forwarding, context);
   const load = candidates.find(({ record }) => record.id === holder.id)?.load ?? NO_LOAD;
   return { endpoint: holder, load, candidates, purpose: 'continuation', copy: name };
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -459,6 +459,21 @@
   t.truthy(findEffect(effects, 'break-answer'));
 });
 
+// Guards against a stream that is interrupted, or lost with its source, for a target that was lost while
+// the generation was copied to it.
+test('a generation is not stopped when its target is lost during the copy', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  const [copy] = findTransfers(postLeaving(harness));
+  removeTarget(harness, copy?.order.target.port);
+  const effects = endStep(harness, order, COPIED);
+  t.deepEqual(findTransfers(effects), []);
+  t.like(findEffect(effects, 'release-copy'), { address: order.address, handle: 'h-1' });
+  const [next] = findTransfers(harness.wait(150));
+  t.is(next?.order.mode, 'copy');
+  t.notDeepEqual(next?.order.target, copy?.order.target);
+});
+
 // Guards against memory that the copy of an ended generation keeps in use.
 test('a copy is released when its generation ends first', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,6 +1,7 @@
 import {
   cancelAttempts,
   chooseTransferTarget,
+  isHolderUsable,
   openContinuation,
   planFromCopy,
 } from './attempts.js';
@@ -175,6 +176,26 @@
   ];
 };
 
+/** Schedules another try of a failed transfer, or gives up after `MAX_TRANSFER_TRIES`. */
+const retryTransfer = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  reason: string,
+  context: RequestsContext,
+): Effects => {
+  const { attempt } = run;
+  const { tries, target } = transfer;
+  const released = [
+    describeTransfer(run, reason, target),
+    ...endTransfer(run),
+    ...releaseCopy(attempt),
+  ];
+  if (tries >= MAX_TRANSFER_TRIES) return released;
+  const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
+  attempt.transfer = { phase: 'waiting', tries, dueAt };
+  return released;
+};
+
 const handleCopied = (
   run: RunningGeneration,
   transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
@@ -185,9 +206,12 @@
   const { target } = transfer;
   switch (transfer.phase) {
     case 'copying': {
-      attempt.transfer = { ...transfer, phase: 'stopping' };
       // If the second copy fails, the generation resumes from the first.
       attempt.copy = { holder: target, handle };
+      if (!isHolderUsable(target, context)) {
+        return retryTransfer(run, transfer, 'target-lost', context);
+      }
+      attempt.transfer = { ...transfer, phase: 'stopping' };
       return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
     }
     case 'stopping': {
@@ -201,26 +225,6 @@
   }
 };
 
-/** Schedules another try of a failed transfer, or gives up after `MAX_TRANSFER_TRIES`. */
-const retryTransfer = (
-  run: RunningGeneration,
-  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
-  reason: string,
-  context: RequestsContext,
-): Effects => {
-  const { attempt } = run;
-  const { tries, target } = transfer;
-  const released = [
-    describeTransfer(run, reason, target),
-    ...endTransfer(run),
-    ...releaseCopy(attempt),
-  ];
-  if (tries >= MAX_TRANSFER_TRIES) return released;
-  const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
-  attempt.transfer = { phase: 'waiting', tries, dueAt };
-  return released;
-};
-
 const failTransfer = (
   run: RunningGeneration,
   transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
