--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
-import { createFeedsLogic, isFeedStale } from './feeds.js';
+import { computeResumptionLimits, createFeedsLogic, isFeedStale } from './feeds.js';
 import type { PacingInputs } from './feeds.js';
 import type { FeedsState } from './feeds.js';
 import { createVirtualClock } from '../../core/clock.js';
@@ -10,7 +10,7 @@
 
 const buildPacingInputs = (daemons: number): PacingInputs => ({
   daemons,
-  stalenessLimits: { leavingMs: 2_000, outageMs: 3_000 },
+  stalenessLimits: { leavingMs: 2_000, dataCentreOutMs: 5_000, outageMs: 3_000 },
 });
 
 const toPosition = (offset: number, epoch = 1): FeedPosition => ({ epoch, offset });
@@ -346,3 +346,14 @@
   const expired = harness.answer('operator', { kind: 'expired', epoch: 2 });
   t.is(findCalls(expired)[0]?.kind, 'load-feed');
 });
+
+// Guards against requests to a leaving endpoint, or to a data centre that is out, which are in time by
+// when this daemon learnt of it, but late by when the store acknowledged it.
+test('the time until a daemon learns is deducted from the limits of resumptions', (t) => {
+  t.deepEqual(computeResumptionLimits(buildPacingInputs(4)), {
+    leavingMs: 2_000 - 440 - FEED_STALENESS_MARGIN_MS,
+    dataCentreOutMs: 2_000,
+  });
+  const { leavingMs } = computeResumptionLimits(buildPacingInputs(100));
+  t.is(leavingMs, 2_000 - 1_100 - FEED_STALENESS_MARGIN_MS);
+});
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,6 +1,7 @@
 import {
   cancelAttempts,
   chooseTransferTarget,
+  isHolderUsable,
   openContinuation,
   planFromCopy,
 } from './attempts.js';
@@ -16,20 +17,20 @@
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
-import type { Attempt, Effects, Forwarding, RequestsContext, Transfer } from './types.js';
+import {
+  waitForTransfer,
+  describeTransfer,
+  isTransferNeeded,
+  scheduleNextTransfer,
+} from './transferTurns.js';
+import type { RunningGeneration } from './transferTurns.js';
+import type { Attempt, Effects, RequestsContext, Transfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent, TransferSource } from '../events.js';
 import type { CopyReference, TransferOrder, TransferResult } from '../types.js';
 
-/** A running generation: its request, and the attempt at the endpoint that runs it. */
-interface RunningGeneration {
-  readonly forwarding: Forwarding;
-  readonly attempt: Attempt;
-}
-
 const orderTransfer = (
   { attempt, forwarding }: RunningGeneration,
   target: EndpointRecord,
@@ -46,32 +47,6 @@
   };
 };
 
-const describeTransfer = (
-  { attempt, forwarding }: RunningGeneration,
-  step: string,
-  target: EndpointRecord | null,
-): GatewayEffect => ({
-  kind: 'log',
-  name: 'transfer-step',
-  details: {
-    requestId: forwarding.request.id,
-    endpoint: attempt.endpoint.id,
-    entity: forwarding.route.name,
-    data: {
-      attempt: attempt.number,
-      step,
-      target: target?.id ?? '',
-      lastEventId: forwarding.lastEventId ?? '',
-    },
-  },
-});
-
-const scheduleNextTransfer = (source: EndpointId, delayMs: Millis): GatewayEffect => ({
-  kind: 'schedule',
-  delayMs,
-  event: { to: 'requests', kind: 'transfer-due', source },
-});
-
 const listGenerationsAt = (
   source: EndpointId,
   { state }: RequestsContext,
@@ -82,19 +57,6 @@
       .map((attempt) => ({ forwarding, attempt })),
   );
 
-const hasUsableBackup = ({ backup }: Attempt, context: RequestsContext): boolean =>
-  backup !== null &&
-  context.inputs
-    .listEndpoints(backup.service)
-    .some(({ record }) => record.id === backup.id && record.phase === 'ready');
-
-const isTransferNeeded = ({ attempt, forwarding }: RunningGeneration, context: RequestsContext) =>
-  forwarding.route.answer === 'stream' &&
-  forwarding.route.resume === 'single-run' &&
-  attempt.transfer === null &&
-  // A generation with a usable backup fails over to it when its endpoint ends.
-  !hasUsableBackup(attempt, context);
-
 const comparePriority = (left: RunningGeneration, right: RunningGeneration): number =>
   computeTransferPriority(right.forwarding) - computeTransferPriority(left.forwarding);
 
@@ -197,9 +159,11 @@
     planFromCopy(forwarding, fallback, context);
   if (plan !== null) {
     forwarding.attempts.delete(attempt.number);
+    const isBack = plan.endpoint.id === attempt.endpoint.id;
+    const refused = isBack ? { refusedTargets: attempt.refusedTargets } : {};
     return [
       { kind: 'cancel-attempt', key, attempt: attempt.number },
-      ...openContinuation(forwarding, { ...plan, fallback }, context),
+      ...openContinuation(forwarding, { ...plan, fallback, ...refused }, context),
     ];
   }
   const end = {
@@ -212,6 +176,26 @@
   ];
 };
 
+/** Schedules another try of a failed transfer, or gives up after `MAX_TRANSFER_TRIES`. */
+const retryTransfer = (
+  run: RunningGeneration,
+  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
+  reason: string,
+  context: RequestsContext,
+): Effects => {
+  const { attempt } = run;
+  const { tries, target } = transfer;
+  const released = [
+    describeTransfer(run, reason, target),
+    ...endTransfer(run),
+    ...releaseCopy(attempt),
+  ];
+  if (tries >= MAX_TRANSFER_TRIES) return released;
+  const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
+  attempt.transfer = { phase: 'waiting', tries, dueAt };
+  return released;
+};
+
 const handleCopied = (
   run: RunningGeneration,
   transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
@@ -222,9 +206,12 @@
   const { target } = transfer;
   switch (transfer.phase) {
     case 'copying': {
-      attempt.transfer = { ...transfer, phase: 'stopping' };
       // If the second copy fails, the generation resumes from the first.
       attempt.copy = { holder: target, handle };
+      if (!isHolderUsable(target, context)) {
+        return retryTransfer(run, transfer, 'target-lost', context);
+      }
+      attempt.transfer = { ...transfer, phase: 'stopping' };
       return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
     }
     case 'stopping': {
@@ -238,26 +225,6 @@
   }
 };
 
-/** Schedules another try of a failed transfer, or gives up after `MAX_TRANSFER_TRIES`. */
-const retryTransfer = (
-  run: RunningGeneration,
-  transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
-  reason: string,
-  context: RequestsContext,
-): Effects => {
-  const { attempt } = run;
-  const { tries, target } = transfer;
-  const released = [
-    describeTransfer(run, reason, target),
-    ...endTransfer(run),
-    ...releaseCopy(attempt),
-  ];
-  if (tries >= MAX_TRANSFER_TRIES) return released;
-  const dueAt = context.inputs.clock.now() + TRANSFER_RETRY_MS;
-  attempt.transfer = { phase: 'waiting', tries, dueAt };
-  return released;
-};
-
 const failTransfer = (
   run: RunningGeneration,
   transfer: Extract<Transfer, { phase: 'copying' | 'stopping' }>,
@@ -266,7 +233,10 @@
 ): Effects => {
   const { attempt, forwarding } = run;
   const released = [describeTransfer(run, reason, transfer.target), ...endTransfer(run)];
-  if (attempt.streamState === 'open') return released;
+  if (attempt.streamState === 'open') {
+    // From a first copy the generation resumes when its source ends.
+    return attempt.copy === null ? [...released, ...waitForTransfer(run, context)] : released;
+  }
   const end = { kind: 'broken', message: 'the transfer failed' } as const;
   return [...released, ...endAttempt(forwarding, attempt, end, context)];
 };
