Answer all requests that a draining daemon has read on a connection

What callers saw (shown by a test): of two requests sent one behind the other during a planned stop, the second was read whole and passed on, and its connection ended with the answer to the first (LOST). Callers that wait for each answer are not concerned.

Cause: a draining daemon made every answer the last one on its connection, although it had read a further request there. A request that arrived after such a head was passed on, too.

Change: an answer is the last one only if no further request has been read on its connection. A request behind a head that says so is not passed on, since it cannot be answered; its caller knows from that head that it was not handled.

Evidence: 'a draining daemon answers all requests that it has read on a connection' and 'a request behind the last answer of its connection is not passed on' fail before.

What remains: an answer that ends with its connection, as its endpoint sent it, still cuts a request that was read behind it.

--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -161,6 +161,11 @@
       case 'whole':
         break;
     }
+    if (responders.isBehindLast(key)) {
+      // It cannot be answered. Its caller knows from the answer before that it is not handled.
+      responders.remove(key);
+      return;
+    }
     response.on('close', () => {
       if (responders.has(key)) options.postDisconnect(key);
     });
--- a/packages/gateway/frontend/pipelining.test.ts
+++ b/packages/gateway/frontend/pipelining.test.ts
@@ -62,3 +62,38 @@
   await harness.waitForEvent('request-abandoned');
   t.false(harness.responders.has(key));
 });
+
+// Guards against a request that is passed on and gets no answer, because the answer before it on its
+// connection is the last one of a draining daemon.
+test('a draining daemon answers all requests that it has read on a connection', async (t) => {
+  const harness = await startCallerServer(t);
+  const caller = harness.openCaller();
+  caller.send(`${formatRequest('r-1')}${formatRequest('r-2')}`);
+  await harness.waitForRequest('r-2');
+  harness.responders.startDrain();
+  await sendAnswer(harness, 'r-1');
+  await sendAnswer(harness, 'r-2');
+  t.true(await checkReceived(caller, 'answer to r-1'));
+  t.true(await checkReceived(caller, 'answer to r-2'));
+  await caller.waitForClose();
+});
+
+// Guards against a request that is passed on although its connection ends with the answer before it.
+test('a request behind the last answer of its connection is not passed on', async (t) => {
+  const harness = await startCallerServer(t);
+  const caller = harness.openCaller();
+  caller.send(formatRequest('r-1'));
+  const { key } = await harness.waitForRequest('r-1');
+  harness.responders.startDrain();
+  harness.perform({ kind: 'start-answer', key, head: ANSWER_HEAD });
+  harness.perform({ kind: 'write-answer', key, bytes: Buffer.from('part') });
+  t.true(await checkReceived(caller, 'Connection: close'));
+  caller.send(formatRequest('r-2'));
+  const passedOn = harness.waitForRequest('r-2').then(() => 'passed on');
+  const other = harness.openCaller();
+  other.send(formatRequest('r-3'));
+  const next = harness.waitForRequest('r-3').then(() => 'not passed on');
+  t.is(await Promise.race([passedOn, next]), 'not passed on');
+  harness.perform({ kind: 'end-answer', key });
+  await caller.waitForClose();
+});
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -16,6 +16,8 @@
 export interface Responders {
   readonly open: (key: number, requestId: string, response: ServerResponse) => void;
   readonly has: (key: number) => boolean;
+  /** Whether an earlier answer states that it is the last one on the connection of this one. */
+  readonly isBehindLast: (key: number) => boolean;
   /** Counts the answers that have not been ended, those to requests that are being read included. */
   readonly count: () => number;
   /** Removes the answer of a caller that disconnected. */
@@ -95,8 +97,15 @@
     return answer;
   };
 
-  const buildHeaders = (headers: readonly string[]): string[] =>
-    phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
+  /**
+   * Adds that the answer is the last one on its connection if the daemon is draining. An answer is not
+   * the last one while a further request has been read, since that would get no answer.
+   */
+  const buildHeaders = (response: ServerResponse, headers: readonly string[]): string[] => {
+    if (phase === 'serving' || queues.hasFurther(response)) return [...headers];
+    queues.recordLast(response);
+    return [...headers, 'Connection', 'close'];
+  };
 
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
     const response = open.get(key)?.response;
@@ -110,7 +119,7 @@
       clearFraming(response);
       trackUnframed(response);
     }
-    response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
+    response.writeHead(head.status, buildHeaders(response, [...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
     // An answer that could not be sent stays open, so that it can be broken off.
     open.delete(key);
@@ -136,7 +145,7 @@
     response.sendDate = false;
     response.writeHead(
       problem.status,
-      buildHeaders([
+      buildHeaders(response, [
         'Content-Type',
         'application/problem+json',
         'Content-Length',
@@ -161,6 +170,10 @@
       open.set(key, { requestId, response });
     },
     has: (key) => open.has(key),
+    isBehindLast: (key) => {
+      const answer = open.get(key);
+      return answer !== undefined && queues.isBehindLast(answer.response);
+    },
     count: () => open.size,
     remove: (key) => {
       open.delete(key);
@@ -171,7 +184,7 @@
       connections.recordWrite(key);
       response.sendDate = false;
       if (head.framing === 'until-close') clearFraming(response);
-      response.writeHead(head.status, buildHeaders(head.headers));
+      response.writeHead(head.status, buildHeaders(response, head.headers));
       if (!response.chunkedEncoding) trackUnframed(response);
     },
     writeAnswer: (key, bytes) => {
