Count crashes of endpoints in a data centre that is out of service

Cause: whether an endpoint is expected to run, so that refused connections mean a crash, was asked of the list of placements. An endpoint in a data centre that is out, or of a version to which its service is to move, is not in it, though it still runs what it has. A request that crashed such endpoints left no evidence, and reached the next one.

Change: the endpoint is expected to run if its incarnation is known and does not leave.

The stand-in of the tests for what is known of endpoints now says that a leaving one leaves, as membership does.

--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -37,14 +37,10 @@
 };
 
 /** Reports whether an endpoint is expected to run; one that leaves may stop at any time. */
-const isExpectedToRun = (
-  { service }: Forwarding,
-  { endpoint }: Attempt,
-  { inputs }: RequestsContext,
-): boolean =>
-  inputs
-    .listEndpoints(service.name)
-    .some(({ record }) => record.id === endpoint.id && record.phase === 'ready');
+const isExpectedToRun = ({ endpoint }: Attempt, { inputs }: RequestsContext): boolean => {
+  const state = inputs.findHolder(endpoint);
+  return state.kind === 'known' && state.leavingAt === null;
+};
 
 const getProgress = ({ phase }: Attempt): CrashProgress =>
   phase === 'answering' ? 'beginning' : 'waiting';
@@ -66,7 +62,7 @@
 ): Effects => {
   const { failure } = attempt;
   if (failure === null) return [];
-  if (result !== 'refused' || !isExpectedToRun(forwarding, attempt, context)) {
+  if (result !== 'refused' || !isExpectedToRun(attempt, context)) {
     return endAttempt(forwarding, attempt, failure, context);
   }
   const message = `${failure.message}; the endpoint refuses connections`;
--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -117,6 +117,22 @@
   }
 });
 
+// Guards against requests that crash one engine after the other, but are not found because the engines are
+// in a data centre that is out, where they still run what they have (BUDGET).
+test('crashes in a data centre that is out of service count', (t) => {
+  const harness = createRequestsHarness();
+  harness.setProbeResult('refused');
+  const order = getOrder(send(harness, '/memo/1', 'first'));
+  startAnswer(harness, order);
+  const { endpointId } = order.head;
+  const index = harness.endpoints.findIndex(({ id }) => id === endpointId);
+  harness.endpoints.splice(index, 1);
+  const dataCentreOutAt = harness.getNow();
+  harness.holders.set(endpointId, { kind: 'known', leavingAt: null, dataCentreOutAt });
+  failConnection(harness, order);
+  t.is(harness.quarantine.evidence.reports.size, 1);
+});
+
 // Guards against a plain call that crashes all endpoints of its service as its caller repeats it.
 test('a plain call on which three endpoints crashed is refused', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -120,9 +120,9 @@
     findHolder: ({ id, startedAt }) => {
       const known = endpoints.find((record) => record.id === id);
       if (known === undefined) return holders.get(id) ?? { kind: 'lost' };
-      return known.startedAt === startedAt
-        ? (holders.get(id) ?? { kind: 'known', leavingAt: null, dataCentreOutAt: null })
-        : { kind: 'lost' };
+      if (known.startedAt !== startedAt) return { kind: 'lost' };
+      const leavingAt = known.phase === 'leaving' ? clock.now() : null;
+      return holders.get(id) ?? { kind: 'known', leavingAt, dataCentreOutAt: null };
     },
     getResumptionLimits: () => RESUMPTION_LIMITS,
     countDaemons: () => 1,
