Treat a reset that comes together with bytes as an error in the gateway

Callers saw: a stream without a length and without chunks ended early and looked complete, because its worker had left and reset the connection.

Cause: a read that returns fewer bytes than it asked for, and a peer that is gone in the same event, make libuv report an end of file. The stand-in worker and the proxy of the soak do send resets. Class of fault: the absence of an error is taken for a proof of success.

Change: reportResets checks a connection that is about to emit 'end' by a write of zero bytes. It sends nothing, and fails with ECONNRESET after a reset, with EPIPE if the peer had ended its answer before it reset the connection, and not at all after an orderly end. Only the first makes the connection emit the error instead of the end, so that a complete answer is not lost. While a part of the request is not sent, an empty write would wait; then the missing peer address decides. The address alone would not do: it is cached once it has been read, and is missing in the second case, too.

The older tests sent the reset 20 or 30 ms after the bytes.

--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -64,6 +64,40 @@
   t.is(last?.kind === 'attempt-failed' ? last.failure.kind : '', 'broken');
 });
 
+// Guards against a truncated answer that counts as complete, because the runtime reports a reset that
+// comes together with bytes as the end of the connection.
+test('an answer without a length fails when a reset comes together with its bytes', async (t) => {
+  const events = await runAttempt(t, (socket) => {
+    socket.write(`${NO_LENGTH}part`);
+    socket.resetAndDestroy();
+  });
+  t.is(collectBody(events), 'part');
+  const last = events.at(-1);
+  t.is(last?.kind === 'attempt-failed' ? last.failure.kind : last?.kind, 'broken');
+});
+
+// Guards against a complete answer that fails because its connection was reset right after it.
+test('a framed answer is complete when a reset comes together with its bytes', async (t) => {
+  const events = await runAttempt(t, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab');
+    socket.resetAndDestroy();
+  });
+  t.is(events.at(-1)?.kind, 'answer-ended');
+  t.is(collectBody(events), 'ab');
+});
+
+// Guards against a complete answer that fails because the endpoint ended it and then closed its
+// connection with a part of the request unread.
+test('an answer without a length is complete when a reset comes after its end', async (t) => {
+  const events = await runAttempt(t, (socket) => {
+    socket.end(`${NO_LENGTH}whole`, () => {
+      socket.resetAndDestroy();
+    });
+  });
+  t.is(events.at(-1)?.kind, 'answer-ended');
+  t.is(collectBody(events), 'whole');
+});
+
 // Guards against the loss of a valid answer: HTTP lets an answer without a length end when its
 // connection closes.
 test('an answer without a length is complete when its connection closes', async (t) => {
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { MAX_INTERIM_ANSWERS, MAX_OVERHEAD_BYTES } from './constants.js';
+import { reportResets } from '../../core/http/connectionResets.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
@@ -122,6 +123,7 @@
     }, CONNECT_TIMEOUT_MS);
 
     outgoing.on('socket', (socket) => {
+      reportResets(socket);
       socket.setNoDelay(true);
       socket.on('data', () => {
         if (socket.bytesRead - 2 * bodyBytes > MAX_OVERHEAD_BYTES)
