Treat a reset that comes together with bytes as an error in the other clients

Callers would see: half an answer of a service as a whole one, through the endpoint daemon. The clients of the platform's services would take a page that was broken off for a whole one; of JSON, only half a text is refused.

The endpoint daemon's connector only changed the code of a reset that the socket reports as an error; undici also ends an answer without length and chunks at 'end'. The client of the log, the list, the weights, the users' store and the workers' reports and transfer orders reads with node:http.

Change: both use reportResets. On a kept connection it is applied once, while it is being established.

--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -11,6 +11,7 @@
   MAX_PAGE_BYTES,
 } from './constants.js';
 import type { Clock } from '../../core/clock.js';
+import { reportResets } from '../../core/http/connectionResets.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { GenerationId } from '../../core/ids.js';
@@ -68,7 +69,9 @@
   const connect = buildConnector({});
   return (options, callback) => {
     connect(options, (...result) => {
-      result[1]?.prependListener('error', (error: NodeJS.ErrnoException) => {
+      const [, socket] = result;
+      if (socket !== null) reportResets(socket);
+      socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
         if (error.code === 'ECONNRESET') error.code = RESET_CODE;
       });
       callback(...result);
--- a/packages/endpoint/engine/oddAnswers.test.ts
+++ b/packages/endpoint/engine/oddAnswers.test.ts
@@ -6,8 +6,8 @@
 import { createSystemClock } from '../../core/clock.js';
 import type { EndpointEvent, ServiceCall } from '../types.js';
 
-/** How the connection ends after the bytes of an answer. */
-type End = 'FIN' | 'RST';
+/** How the connection ends after the bytes of an answer; `RST with bytes` arrives together with them. */
+type End = 'FIN' | 'RST' | 'RST with bytes';
 
 /** Time for the bytes to arrive before the connection ends, in ms. */
 const END_DELAY_MS = 30;
@@ -23,6 +23,10 @@
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.write(Buffer.from(bytes, 'latin1'));
+      if (end === 'RST with bytes') {
+        endConnection(socket, end);
+        return;
+      }
       setTimeout(() => {
         endConnection(socket, end);
       }, END_DELAY_MS);
@@ -48,20 +52,23 @@
 const CLOSE = 'Connection: close\r\n';
 const CHUNKED = `${OK}${CLOSE}Transfer-Encoding: chunked\r\n\r\n`;
 
+const ANY_RESET = ['RST', 'RST with bytes'] as const;
+const ANY_END = ['FIN', ...ANY_RESET] as const;
+
 // Guards against an answer that was broken off and that the caller gets as a whole success.
 for (const [name, bytes, ends] of [
-  ['the status line', OK, ['FIN', 'RST']],
-  ['a header', `${OK}Content-Ty`, ['FIN', 'RST']],
-  ['the length', `${OK}Content-Length: 5`, ['FIN', 'RST']],
-  ['the head', `${OK}Content-Length: 5\r\n`, ['FIN', 'RST']],
-  ['a body with a length', `${OK}Content-Length: 5\r\n\r\nab`, ['FIN', 'RST']],
-  ['a last body with a length', `${OK}${CLOSE}Content-Length: 5\r\n\r\nab`, ['FIN', 'RST']],
-  ['a body without framing', `${OK}\r\nab`, ['RST']],
-  ['a last body without framing', `${OK}${CLOSE}\r\nab`, ['RST']],
-  ['a body of HTTP/1.0', 'HTTP/1.0 200 OK\r\n\r\nab', ['RST']],
-  ['a chunk', `${CHUNKED}5\r\nab`, ['FIN', 'RST']],
-  ['the chunks', `${CHUNKED}2\r\nab\r\n`, ['FIN', 'RST']],
-  ['the last chunk', `${CHUNKED}2\r\nab\r\n0\r\n`, ['FIN', 'RST']],
+  ['the status line', OK, ANY_END],
+  ['a header', `${OK}Content-Ty`, ANY_END],
+  ['the length', `${OK}Content-Length: 5`, ANY_END],
+  ['the head', `${OK}Content-Length: 5\r\n`, ANY_END],
+  ['a body with a length', `${OK}Content-Length: 5\r\n\r\nab`, ANY_END],
+  ['a last body with a length', `${OK}${CLOSE}Content-Length: 5\r\n\r\nab`, ANY_END],
+  ['a body without framing', `${OK}\r\nab`, ANY_RESET],
+  ['a last body without framing', `${OK}${CLOSE}\r\nab`, ANY_RESET],
+  ['a body of HTTP/1.0', 'HTTP/1.0 200 OK\r\n\r\nab', ANY_RESET],
+  ['a chunk', `${CHUNKED}5\r\nab`, ANY_END],
+  ['the chunks', `${CHUNKED}2\r\nab\r\n`, ANY_END],
+  ['the last chunk', `${CHUNKED}2\r\nab\r\n0\r\n`, ANY_END],
 ] as const) {
   for (const end of ends) {
     test(`an answer that is cut in ${name} by ${end} is a failure`, async (t) => {
--- a/packages/platform/client/clients.test.ts
+++ b/packages/platform/client/clients.test.ts
@@ -116,6 +116,33 @@
   t.is((await interruptedClient.append('append', [1])).kind, 'unknown');
 });
 
+// Guards against a page whose connection was reset and that counts as whole, because the runtime reports a
+// reset that comes together with bytes as the end of the connection.
+for (const end of ['ended', 'reset'] as const) {
+  test(`a page without a length is ${end === 'ended' ? 'read' : 'refused'} when it is ${end}`, async (t) => {
+    const page = 'HTTP/1.1 200 OK\r\n\r\n{"records":[],"nextOffset":0,"firstOffset":0}';
+    const server = createServer((socket: Socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        if (end === 'ended') socket.end(page);
+        else {
+          socket.write(page);
+          socket.resetAndDestroy();
+        }
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const baseUrl = `http://127.0.0.1:${port.toString()}`;
+    const client = createLogClient({ baseUrl, timeoutMs: 300 });
+    t.teardown(client.close);
+    t.is((await client.read('records', { from: 0 })).isOk(), end === 'ended');
+  });
+}
+
 // Guards against an invalid page that is folded, and against an outage that throws an error.
 test('a read returns validated records or a failure', async (t) => {
   const { options } = await startFakePlatform(t);
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -5,6 +5,7 @@
 import { MAX_RESPONSE_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
+import { reportResets } from '../../core/http/connectionResets.js';
 
 /** Error of a request without a response. */
 export type RequestError =
@@ -120,11 +121,14 @@
         resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
       };
       client.on('socket', (socket) => {
-        if (!socket.connecting) connection = 'established';
-        else
-          socket.once('connect', () => {
-            connection = 'established';
-          });
+        if (!socket.connecting) {
+          connection = 'established';
+          return;
+        }
+        reportResets(socket);
+        socket.once('connect', () => {
+          connection = 'established';
+        });
       });
       client.on('error', fail);
       client.on('response', (response) => {
