Do not count a response of the platform as late because the process was stalled

Callers could see: nothing directly. A gateway that had no processor time for the timeout of a call took the store for unavailable although it had answered, loaded or read again, and took removals for uncertain for 2.5 s; an entry daemon counted a call as lost.

Cause: Node runs timers before it reads sockets, so the timeout of a call ended it with its response in the buffer.

Change: after the timeout, all sockets are read once more before the call ends.

--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -5,6 +5,7 @@
 import { MAX_RESPONSE_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
+import { runAfterReads } from '../../core/loop/runAfterReads.js';
 
 /** Error of a request without a response. */
 export type RequestError =
@@ -102,6 +103,7 @@
       const { method, path, signal, waitMs = 0 } = outgoing;
       const body = encodeBody(outgoing);
       let connection: 'none' | 'established' = 'none';
+      let phase: 'pending' | 'settled' = 'pending';
       const client = openRequest({
         agent,
         host: serviceUrl.hostname,
@@ -111,11 +113,18 @@
         headers: buildHeaders(body),
         ...(signal === undefined ? {} : { signal }),
       });
+      // A timer that is late for lack of processor time may come before a response is noticed.
       const timeout = setTimeout(() => {
-        client.destroy(new Error('the response timed out'));
+        runAfterReads(() => {
+          if (phase === 'pending') client.destroy(new Error('the response timed out'));
+        });
       }, options.timeoutMs + waitMs);
-      const fail = (error: unknown): void => {
+      const settle = (): void => {
+        phase = 'settled';
         clearTimeout(timeout);
+      };
+      const fail = (error: unknown): void => {
+        settle();
         const message = error instanceof Error ? error.message : String(error);
         resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
       };
@@ -129,7 +138,7 @@
       client.on('error', fail);
       client.on('response', (response) => {
         readResponse(response).then((read) => {
-          clearTimeout(timeout);
+          settle();
           resolve(Ok(read));
         }, fail);
       });
