Keep the silent endpoint of a generation whose continuation is not answered

Its endpoint was silent for 1.6 s, the continuation was sent to the holder of the backup, the silent endpoint was given up 0.2 s later, and the holder, silent itself, refused with 503 only after 2.6 s.

Cause: at the end of the overlap a continuation counted as under way because it had been sent. A generation cannot be placed again once its only copy is refused, so the stream was lost with a sound endpoint behind it.

Change: a continuation of a generation that has no answer by then is ended instead (stream-stalled, unanswered), and the silent endpoint keeps the stream; both may not go on (TWICE, 400 ms). Streams that may be resumed are placed again after a refusal, so for them the silent endpoint is given up as before.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -256,3 +256,17 @@
     t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
   }
 });
+
+// Guards against a lost stream when the endpoint that should continue it is silent, too, and refuses
+// late (planned soak, seed 26001): the first one had been given up, although it would have gone on.
+test('a stream stays at its silent endpoint when its continuation is not answered', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  const cancelled = harness
+    .wait(MAX_OVERLAP_MS)
+    .flatMap((effect) => (effect.kind === 'cancel-attempt' ? [effect.attempt] : []));
+  t.deepEqual(cancelled, [continuation.attempt]);
+  t.deepEqual(findWritten(sendEvents(harness, order, 4, 5)), Buffer.from(buildEvents(4, 5)));
+});
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -11,7 +11,7 @@
 import type { GatewayEffect } from '../events.js';
 
 /** What is done about a stream whose endpoint is silent. */
-type SilenceResponse = 'continued' | 'no-endpoint' | 'budget-spent';
+type SilenceResponse = 'continued' | 'unanswered' | 'no-endpoint' | 'budget-spent';
 
 const scheduleStallCheck = (
   { request }: Forwarding,
@@ -119,7 +119,8 @@
 };
 
 /**
- * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed.
+ * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed. A
+ * continuation that has not been answered is ended instead, since both may not go on.
  *
  * @param forwarding - request
  * @param attempt - attempt that was silent when its continuation started
@@ -134,6 +135,15 @@
   const others = [...forwarding.attempts.values()].filter((other) => other !== attempt);
   // Each continuation has an overlap of its own, from the time at which it is sent.
   if (!others.some(({ phase }) => phase !== 'connecting')) return [];
+  const isAnswered = others.some(({ phase }) => phase === 'answering');
+  if (!isAnswered && forwarding.route.resume !== 'resumable') {
+    // The other endpoint may still refuse, and a generation could then not be placed again.
+    const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+    return [
+      describeSilence(forwarding, attempt, silentMs, 'unanswered'),
+      ...endOverlap(forwarding, attempt, context),
+    ];
+  }
   return [
     { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
     ...endAttempt(forwarding, attempt, toSilentEnd(attempt, context), context),
