--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
-import { computeResumptionLimits, createFeedsLogic, isFeedStale } from './feeds.js';
-import type { PacingInputs } from './feeds.js';
+import { createFeedsLogic, isFeedStale } from './feeds.js';
 import type { FeedsState } from './feeds.js';
+import { computeResumptionLimits } from './pacing.js';
+import type { PacingInputs } from './pacing.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GatewayEffect } from '../events.js';
