Keep the copy of a generation until its continuation may have used it

The order to stop a transferred generation failed, its source fell silent, the holder of the copy refused the continuation, and then the source ended: nothing was left to continue from.

Class: what was there is given up before the alternative is known to work.

Change: the copy stays with the attempt of the source, and is forgotten once a continuation that was sent to its holder is cancelled, as a backup is.

Evidence: "a copy whose use was refused is still used when the source ends" failed with the code before; "a copy is not used again after its continuation was cancelled" guards the other side.

--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -108,8 +108,6 @@
   const plan = planContinuation(forwarding, attempt, context);
   if (plan === null) return [describe('no-endpoint'), nextCheck];
   if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
-  // The continuation uses the copy, so the end of this attempt must not release it.
-  attempt.copy = null;
   return [describe('continued'), ...openContinuation(forwarding, plan, context), nextCheck];
 };
 
@@ -179,6 +177,7 @@
     // It may have begun to run the request, and a copy can be used only once.
     forwarding.possibleRuns += 1;
     if (winner.backup?.id === other.endpoint.id) winner.backup = null;
+    if (winner.copy?.holder.id === other.endpoint.id) winner.copy = null;
     return [cancel];
   });
 };
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -315,6 +315,50 @@
   t.is(next?.head.lastEventId, '9');
 });
 
+/** Lets a generation continue from its first copy beside its silent source, which is leaving. */
+const continueFromCopy = () => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  postLeaving(harness);
+  endStep(harness, order, COPIED);
+  endStep(harness, order, { kind: 'failed', message: 'reset' });
+  const [continuation] = findAttemptOrders(harness.wait(3_700));
+  if (continuation === undefined) throw new Error('the stream was not continued');
+  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  return { harness, order, continuation };
+};
+
+const failSource = (harness: RequestsHarness, order: AttemptOrder): readonly GatewayEffect[] =>
+  harness.post({
+    ...toEvent(order),
+    kind: 'attempt-failed',
+    failure: { kind: 'broken', message: 'reset' },
+  });
+
+// Guards against a lost generation whose source was silent and then ended: the target refused the
+// continuation from the copy, which still exists, but counted as used since it was ordered.
+test('a copy whose use was refused is still used when the source ends', (t) => {
+  const { continuation, harness, order } = continueFromCopy();
+  t.deepEqual(continuation.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
+  const refusal = { ...SIGNED_HEAD, status: 503, signature: 'unsigned', proof: 'not-run' } as const;
+  harness.post({ ...toEvent(continuation), kind: 'answer-started', head: refusal });
+  const [next] = findAttemptOrders([...failSource(harness, order), ...harness.wait(50)]);
+  t.deepEqual(next?.address, continuation.address);
+  t.deepEqual(next?.head.copy, continuation.head.copy);
+});
+
+// Guards against parts of two runs in one stream: a continuation that was cancelled may have used the
+// copy, which therefore counts as lost.
+test('a copy is not used again after its continuation was cancelled', (t) => {
+  const { continuation, harness, order } = continueFromCopy();
+  const bytes = buildEvents(10, 11);
+  const resumed = harness.post({ ...toEvent(order), kind: 'answer-continued', bytes });
+  t.is(findEffect(resumed, 'cancel-attempt')?.attempt, continuation.attempt);
+  const effects = [...failSource(harness, order), ...harness.wait(50)];
+  t.deepEqual(findAttemptOrders(effects), []);
+  t.truthy(findEffect(effects, 'break-answer'));
+});
+
 // Guards against restarting a generation at a target that has lost the copy: its caller would get
 // parts of two runs.
 test('a copy is not used at a new incarnation of its holder', (t) => {
