Transfer a generation that lost its copy after the notice of its endpoint

The engine is silent, the stream is continued from its backup, held events of the engine end the continuation, which uses up the backup, and then the engine ends.

Cause: a generation with a usable backup is not transferred at the notice, and nothing asked again when the backup was gone. Class: a decision for the state at one moment whose condition changes.

Change: a generation whose backup or copy was used waits for a transfer if its endpoint is leaving, within the time of the notice.

Evidence: "a stream whose backup is used after the notice of its endpoint is transferred" failed with the code before.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -200,6 +200,23 @@
   t.truthy(findEffect([...leaving, ...harness.wait(50)], 'start-transfer'));
 });
 
+// Guards against the same when the notice of the endpoint came before its backup was used: a generation
+// with a usable backup is not transferred, and nothing asked again (planned soak, seed 26303).
+test('a stream whose backup is used after the notice of its endpoint is transferred', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS - 1_200);
+  const { endpointId } = order.head;
+  const leavingAt = harness.getNow();
+  harness.holders.set(endpointId, { kind: 'known', leavingAt, dataCentreOutAt: null });
+  const notice = { to: 'requests', kind: 'endpoint-leaving', endpoint: endpointId } as const;
+  t.is(findEffect([...harness.post(notice), ...harness.wait(50)], 'start-transfer'), undefined);
+  const continuation = getOrder(harness.wait(1_150));
+  startAnswer(harness, continuation);
+  const effects = sendEvents(harness, order, 4, 4);
+  t.truthy(findEffect([...effects, ...harness.wait(200)], 'start-transfer'));
+});
+
 // Guards against a stream that reaches more endpoints than its route permits, because an attempt that
 // the overlap ended was not counted as a run.
 test('a stream reaches no more endpoints than permitted by repeated silences', (t) => {
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -6,8 +6,10 @@
 import { endAttempt, takeFromBudget } from './retrying.js';
 import type { AttemptEnd } from './retrying.js';
 import { computeStallTimeout } from './stallTimeout.js';
+import { waitForTransfer } from './transferTurns.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { Millis } from '../../core/clock.js';
+import type { EndpointId } from '../../core/ids.js';
 import type { GatewayEffect } from '../events.js';
 
 /** What is done about a stream whose endpoint is silent. */
@@ -148,6 +150,23 @@
   ];
 };
 
+/**
+ * Forgets the copy that a cancelled continuation has used: it may have begun to run the request, and a
+ * copy can be used only once. A generation without a copy is transferred if its endpoint leaves.
+ */
+const clearUsedCopy = (
+  forwarding: Forwarding,
+  winner: Attempt,
+  holder: EndpointId,
+  context: RequestsContext,
+): Effects => {
+  const { backup, copy } = winner;
+  if (backup?.id === holder) winner.backup = null;
+  if (copy?.holder.id === holder) winner.copy = null;
+  const isLost = backup !== winner.backup || copy !== winner.copy;
+  return isLost ? waitForTransfer({ forwarding, attempt: winner }, context) : [];
+};
+
 /**
  * Ends the attempts beside the one whose event came first: the silent endpoint when the continuation
  * answers, or the continuation when the endpoint goes on.
@@ -174,10 +193,7 @@
     }
     forwarding.attempts.delete(other.number);
     if (other.phase === 'connecting') return [cancel];
-    // It may have begun to run the request, and a copy can be used only once.
     forwarding.possibleRuns += 1;
-    if (winner.backup?.id === other.endpoint.id) winner.backup = null;
-    if (winner.copy?.holder.id === other.endpoint.id) winner.copy = null;
-    return [cancel];
+    return [cancel, ...clearUsedCopy(forwarding, winner, other.endpoint.id, context)];
   });
 };
