--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -17,11 +17,13 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
+import type { ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { FeedsEvent, GatewayEffect } from '../events.js';
 import type {
   FeedName,
   FeedPosition,
   FeedResult,
+  RecordChange,
   RemovalCertainty,
   StalenessLimits,
   StoreEpoch,
@@ -34,23 +36,38 @@
    * Removals read before this instant may only mean that the store was unavailable or restored.
    */
   readonly uncertainUntil: Millis;
+  /** Instant at which the newest load was sent. */
+  readonly loadSentAt: Millis;
 } & (
   | { readonly kind: 'loading' }
-  | { readonly kind: 'following'; readonly position: FeedPosition; readonly readAt: Millis }
+  | {
+      readonly kind: 'following';
+      readonly position: FeedPosition;
+      /** Instant of the newest answer. */
+      readonly readAt: Millis;
+      /** Instant at which the newest read was sent. */
+      readonly sentAt: Millis;
+    }
 );
 
 export type FeedsState = Readonly<Record<FeedName, FeedState>>;
 
+/** What a daemon has read of a feed. */
+export interface NewestRead extends Pick<FeedState, 'failingSince' | 'uncertainUntil'> {
+  /** Newest position whose records were applied; null before the first load. */
+  readonly position: FeedPosition | null;
+}
+
 /**
- * Newest position of each feed whose records were applied. It outlives the state of the child, so
- * that a restarted child still recognizes a restored store.
+ * What was read of each feed. It outlives the state of the child, so that a restarted child still
+ * recognizes a restored store, and knows that registrations may be missing from it.
  */
-export type NewestPositions = Map<FeedName, FeedPosition>;
+export type NewestReads = Map<FeedName, NewestRead>;
 
 export interface FeedsInputs {
   readonly clock: Clock;
   /** Updated by this child only. */
-  readonly newestPositions: NewestPositions;
+  readonly newestReads: NewestReads;
   readonly getPacingInputs: () => PacingInputs;
 }
 
@@ -64,7 +81,7 @@
 interface ReadContext {
   readonly now: Millis;
   readonly pacing: PacingInputs;
-  readonly newest: NewestPositions;
+  readonly newest: NewestReads;
 }
 
 /** Order of the epoch of an answer and that of the newest applied records. */
@@ -80,6 +97,9 @@
   return position === null || answer > position ? 'newer' : 'older';
 };
 
+const getPosition = (newest: NewestReads, feed: FeedName): FeedPosition | null =>
+  newest.get(feed)?.position ?? null;
+
 const FEEDS: readonly FeedName[] = ['operator', 'registrations'];
 
 const limitToRange = (value: Millis, min: Millis, max: Millis): Millis =>
@@ -120,10 +140,58 @@
   }
 };
 
-const readFeed = (feed: FeedName, state: FeedState, pacing: PacingInputs): GatewayEffect =>
-  state.kind === 'loading'
-    ? { kind: 'load-feed', feed }
-    : { kind: 'read-feed', feed, position: state.position, waitMs: computeWait(feed, pacing) };
+/**
+ * Computes for how long a generation may still resume at an endpoint that gets no new requests. The
+ * times within which the endpoint must get its last request count from the acknowledgement of the
+ * store, so the longest time until this daemon learns of it is deducted.
+ *
+ * @param pacing - values from which the pauses between reads are computed
+ * @returns the limits, from the instants at which this daemon learns
+ */
+export const computeResumptionLimits = (pacing: PacingInputs): ResumptionLimits => {
+  const { dataCentreOutMs, leavingMs, outageMs } = pacing.stalenessLimits;
+  return {
+    leavingMs: leavingMs - computePause('registrations', pacing) - FEED_STALENESS_MARGIN_MS,
+    dataCentreOutMs: dataCentreOutMs - outageMs,
+  };
+};
+
+/** Sends the next load or read. */
+const sendNext = (
+  feed: FeedName,
+  state: FeedState,
+  { now, pacing }: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  switch (state.kind) {
+    case 'loading':
+      return toStep<FeedState, GatewayEffect>(
+        { ...state, loadSentAt: now },
+        { kind: 'load-feed', feed },
+      );
+    case 'following': {
+      const waitMs = computeWait(feed, pacing);
+      return toStep<FeedState, GatewayEffect>(
+        { ...state, sentAt: now },
+        { kind: 'read-feed', feed, position: state.position, waitMs },
+      );
+    }
+    default:
+      return assertNever(state);
+  }
+};
+
+/** Sends the next load or read, or schedules it for an earliest instant that is not over yet. */
+const sendNextAt = (
+  feed: FeedName,
+  state: FeedState,
+  earliestAt: Millis,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  const delayMs = earliestAt - context.now;
+  return delayMs > 0
+    ? toStep<FeedState, GatewayEffect>(state, scheduleRead(feed, delayMs))
+    : sendNext(feed, state, context);
+};
 
 /**
  * Reports whether the feed of registrations may be stale: its last read failed, or is unanswered
@@ -184,17 +252,17 @@
   return { kind: 'log', name: 'feed-reloaded', details: { data } };
 };
 
+/** Loads a feed again; a store that expires each position it states must not be loaded all the time. */
 const restartFeed = (
   feed: FeedName,
   state: FeedState,
   epoch: StoreEpoch,
+  context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const { failingSince, uncertainUntil } = state;
-  return toStep<FeedState, GatewayEffect>(
-    { kind: 'loading', failingSince, uncertainUntil },
-    describeReload(feed, state, epoch),
-    { kind: 'load-feed', feed },
-  );
+  const { failingSince, loadSentAt, uncertainUntil } = state;
+  const loading: FeedState = { kind: 'loading', failingSince, loadSentAt, uncertainUntil };
+  const sent = sendNextAt(feed, loading, loadSentAt + FEED_RETRY_MS, context);
+  return { state: sent.state, effects: [describeReload(feed, state, epoch), ...sent.effects] };
 };
 
 /** Ignores an answer; with a retry if it belongs to the pending read, which has to be repeated. */
@@ -217,38 +285,53 @@
   event: { to: 'feeds', kind: 'feed-due', feed },
 });
 
+/**
+ * Computes the earliest instant of the next read. One that returned nothing is followed at once, since
+ * the store held it, unless the store answered it early: it would be read without a pause.
+ */
+const computeNextReadAt = (
+  feed: FeedName,
+  state: FeedState,
+  changes: readonly RecordChange[],
+  { now, pacing }: ReadContext,
+): Millis => {
+  if (changes.length > 0) return now + computePause(feed, pacing);
+  return state.kind === 'following' ? state.sentAt + FEED_RETRY_MS : now;
+};
+
 const applyRecords = (
   feed: FeedName,
   state: FeedState,
   { changes, position }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
   scope: ReadScope,
-  { newest, now, pacing }: ReadContext,
+  context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
+  const { newest, now } = context;
   const isUncertain = state.failingSince !== null || scope === 'restored';
   const uncertainUntil = isUncertain ? now + REREGISTRATION_GRACE_MS : state.uncertainUntil;
   const removals: RemovalCertainty =
     now < uncertainUntil
       ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
       : { kind: 'certain' };
-  const before = newest.get(feed);
-  newest.set(feed, position);
+  const before = getPosition(newest, feed);
   const next: FeedState = {
     kind: 'following',
     position,
     failingSince: null,
     readAt: now,
+    sentAt: now,
+    loadSentAt: state.loadSentAt,
     uncertainUntil,
   };
-  const pauseMs = changes.length === 0 ? 0 : computePause(feed, pacing);
+  const nextReadAt = computeNextReadAt(feed, state, changes, context);
+  const sent = sendNextAt(feed, next, nextReadAt, context);
   return {
-    state: next,
+    state: sent.state,
     effects: [
       ...describeRecovery(feed, state, now),
-      ...(scope === 'restored' && before !== undefined
-        ? publishRestore(feed, before, position)
-        : []),
+      ...(scope === 'restored' && before !== null ? publishRestore(feed, before, position) : []),
       ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
-      pauseMs === 0 ? readFeed(feed, next, pacing) : scheduleRead(feed, pauseMs),
+      ...sent.effects,
     ],
   };
 };
@@ -261,8 +344,8 @@
 ): Step<FeedState, GatewayEffect> => {
   // The answer to a load of an earlier incarnation of this child.
   if (state.kind === 'following') return refuseAnswer(feed, state, result, 'other-position');
-  const before = context.newest.get(feed);
-  if (before === undefined) return applyRecords(feed, state, result, 'all', context);
+  const before = getPosition(context.newest, feed);
+  if (before === null) return applyRecords(feed, state, result, 'all', context);
   const order = compareEpochs(result.position.epoch, before.epoch);
   switch (order) {
     case 'same':
@@ -295,7 +378,7 @@
       return applyRecords(feed, state, result, 'changed', context);
     case 'newer':
       // The position may have been given out again, so the records before it may be new as well.
-      return restartFeed(feed, state, result.position.epoch);
+      return restartFeed(feed, state, result.position.epoch, context);
     case 'older':
       return refuseAnswer(feed, state, result, 'older-epoch');
     default:
@@ -332,7 +415,7 @@
     case 'read':
       return handleRead(feed, state, from, result, context);
     case 'expired':
-      return restartFeed(feed, state, result.epoch);
+      return restartFeed(feed, state, result.epoch, context);
     case 'failed':
       return handleFailure(feed, state, result.message, context.now);
     default:
@@ -340,45 +423,66 @@
   }
 };
 
+const startLoading = (feed: FeedName, newest: NewestReads, now: Millis): FeedState => {
+  const { failingSince = null, uncertainUntil = 0 } = newest.get(feed) ?? {};
+  return { kind: 'loading', failingSince, uncertainUntil, loadSentAt: now };
+};
+
+const toNewestRead = (state: FeedState, before: FeedPosition | null): NewestRead => {
+  const { failingSince, uncertainUntil } = state;
+  return {
+    failingSince,
+    uncertainUntil,
+    position: state.kind === 'following' ? state.position : before,
+  };
+};
+
+const decideFeed = (
+  feed: FeedName,
+  state: FeedState,
+  event: FeedsEvent,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  switch (event.kind) {
+    case 'feed-due':
+      return sendNext(feed, state, context);
+    case 'feed-answered':
+      return handleResult(feed, state, event, context);
+    default:
+      return assertNever(event);
+  }
+};
+
 /**
  * Creates the decision logic of the `feeds` child, which follows the records of operators and
  * endpoints in the platform's store. It loads the newest record of each key once and then reads the
  * records after them.
  *
- * @param inputs - clock, newest positions, and the values from which the intervals between reads are
- *   computed
+ * @param inputs - clock, what was read before, and the values from which the intervals between reads
+ *   are computed
  * @returns the decision logic
  */
 export const createFeedsLogic = ({
   clock,
   getPacingInputs,
-  newestPositions,
+  newestReads,
 }: FeedsInputs): ChildLogic<FeedsState, FeedsEvent, GatewayEffect> => ({
   init: () => ({
     state: {
-      operator: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
-      registrations: { kind: 'loading', failingSince: null, uncertainUntil: 0 },
+      operator: startLoading('operator', newestReads, clock.now()),
+      registrations: startLoading('registrations', newestReads, clock.now()),
     },
     effects: FEEDS.map((feed) => ({ kind: 'load-feed', feed })),
   }),
   decide: (state, event) => {
     const { feed } = event;
-    switch (event.kind) {
-      case 'feed-due':
-        return toStep<FeedsState, GatewayEffect>(
-          state,
-          readFeed(feed, state[feed], getPacingInputs()),
-        );
-      case 'feed-answered': {
-        const step = handleResult(feed, state[feed], event, {
-          now: clock.now(),
-          pacing: getPacingInputs(),
-          newest: newestPositions,
-        });
-        return { state: { ...state, [feed]: step.state }, effects: step.effects };
-      }
-      default:
-        return assertNever(event);
-    }
+    const context: ReadContext = {
+      now: clock.now(),
+      pacing: getPacingInputs(),
+      newest: newestReads,
+    };
+    const step = decideFeed(feed, state[feed], event, context);
+    newestReads.set(feed, toNewestRead(step.state, getPosition(newestReads, feed)));
+    return { state: { ...state, [feed]: step.state }, effects: step.effects };
   },
 });
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -1,4 +1,6 @@
 import type { ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { createAnswerQueues } from './answerQueues.js';
 import type { ConnectionTracker } from './connections.js';
 import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import type { ConnectionEndCause } from './types.js';
@@ -14,6 +16,8 @@
 export interface Responders {
   readonly open: (key: number, requestId: string, response: ServerResponse) => void;
   readonly has: (key: number) => boolean;
+  /** Whether an earlier answer states that it is the last one on the connection of this one. */
+  readonly isBehindLast: (key: number) => boolean;
   /** Counts the answers that have not been ended, those to requests that are being read included. */
   readonly count: () => number;
   /** Removes the answer of a caller that disconnected. */
@@ -26,6 +30,8 @@
   readonly refuse: (key: number, failure: Failure) => void;
   /** Closes the connection without completing the answer; the cause is logged. */
   readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
+  /** Closes a connection once all requests that have been read whole on it have their answers. */
+  readonly closeAfterAnswers: (socket: Duplex, close: () => void) => void;
   /** Refuses all requests after the loss of their state. */
   readonly refuseAll: (failure: Failure) => void;
   /** Breaks the answers that would look complete when their connections are closed. */
@@ -71,6 +77,7 @@
   onUnreadable: (error: Error) => void,
 ): Responders => {
   const open = new Map<number, OpenAnswer>();
+  const queues = createAnswerQueues();
   /** Answers that end with their connections, and of which not all bytes were sent. */
   const unframed = new Set<ServerResponse>();
   let phase: 'serving' | 'draining' = 'serving';
@@ -90,8 +97,15 @@
     return answer;
   };
 
-  const buildHeaders = (headers: readonly string[]): string[] =>
-    phase === 'draining' ? [...headers, 'Connection', 'close'] : [...headers];
+  /**
+   * Adds that the answer is the last one on its connection if the daemon is draining. An answer is not
+   * the last one while a further request has been read, since that would get no answer.
+   */
+  const buildHeaders = (response: ServerResponse, headers: readonly string[]): string[] => {
+    if (phase === 'serving' || queues.hasFurther(response)) return [...headers];
+    queues.recordLast(response);
+    return [...headers, 'Connection', 'close'];
+  };
 
   const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
     const response = open.get(key)?.response;
@@ -105,7 +119,7 @@
       clearFraming(response);
       trackUnframed(response);
     }
-    response.writeHead(head.status, buildHeaders([...head.headers, ...length]));
+    response.writeHead(head.status, buildHeaders(response, [...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
     // An answer that could not be sent stays open, so that it can be broken off.
     open.delete(key);
@@ -131,7 +145,7 @@
     response.sendDate = false;
     response.writeHead(
       problem.status,
-      buildHeaders([
+      buildHeaders(response, [
         'Content-Type',
         'application/problem+json',
         'Content-Length',
@@ -152,9 +166,14 @@
 
   return {
     open: (key, requestId, response) => {
+      queues.add(response);
       open.set(key, { requestId, response });
     },
     has: (key) => open.has(key),
+    isBehindLast: (key) => {
+      const answer = open.get(key);
+      return answer !== undefined && queues.isBehindLast(answer.response);
+    },
     count: () => open.size,
     remove: (key) => {
       open.delete(key);
@@ -165,7 +184,7 @@
       connections.recordWrite(key);
       response.sendDate = false;
       if (head.framing === 'until-close') clearFraming(response);
-      response.writeHead(head.status, buildHeaders(head.headers));
+      response.writeHead(head.status, buildHeaders(response, head.headers));
       if (!response.chunkedEncoding) trackUnframed(response);
     },
     writeAnswer: (key, bytes) => {
@@ -183,6 +202,7 @@
       refuseWith(key, failure, 'answer-broken');
     },
     breakAnswer,
+    closeAfterAnswers: queues.closeAfterAnswers,
     refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
     },
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -6,7 +6,7 @@
 import { createEndpointClient } from './endpoints/endpointClient.js';
 import type { EndpointClient } from './endpoints/endpointClient.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
-import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
+import { computeResumptionLimits, createFeedsLogic, isFeedStale } from './feeds/feeds.js';
 import type { PacingInputs } from './feeds/feeds.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
@@ -17,6 +17,7 @@
 import type { Responders } from './frontend/responders.js';
 import { listCandidates, listLimits } from './membership/candidates.js';
 import { createDataCentres } from './membership/dataCentres.js';
+import { findHolder } from './membership/holders.js';
 import { createMembershipLogic, listLeaving } from './membership/membership.js';
 import { createMovesLogic, createNewestMoves } from './moves/moves.js';
 import { buildCrashMessage } from './peers/crashReports.js';
@@ -25,6 +26,7 @@
 import { createPeerSocket } from './peers/peerSocket.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { createQuarantineLogic } from './quarantine/quarantine.js';
+import { createQuarantineWrites } from './quarantine/writes.js';
 import type { QuarantineStore } from './quarantine/types.js';
 import { performEffect } from './perform.js';
 import { listOwnTransfers, listSingleRunEndpoints, sumOwnLoads } from './requests/load.js';
@@ -192,6 +194,8 @@
       dataCentre: settings.dataCentre,
       getRoutingTable: () => states.configuration.table,
       listEndpoints: (service) => listCandidates(service, states, limitInputs, clock.now()),
+      findHolder: (holder) => findHolder(holder, states.membership),
+      getResumptionLimits: () => computeResumptionLimits(getPacingInputs()),
       countDaemons: () => countDaemons(states.peers),
       getDrain: () => computeDrain(states.frontend, clock.now(), live.current.graceMs),
       hasPeerWithHigherPriority: (source, priority) =>
@@ -207,7 +211,7 @@
       checkContent: (content) => checkContent(states.quarantine.evidence, content, clock.now()),
       hashContent,
     }),
-    quarantine: createQuarantineLogic({ clock, random }),
+    quarantine: createQuarantineLogic({ clock, random, writes: createQuarantineWrites() }),
     peers: createPeersLogic({
       clock,
       random,
@@ -242,7 +246,7 @@
           : [],
     }),
     moves: createMovesLogic(clock, createNewestMoves()),
-    feeds: createFeedsLogic({ clock, getPacingInputs, newestPositions: new Map() }),
+    feeds: createFeedsLogic({ clock, getPacingInputs, newestReads: new Map() }),
     frontend: createGateLogic({
       clock,
       getStopOrderedAt: () => cradle.stopOrder.at,
