--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,6 +1,7 @@
 import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
 import { publishChanges } from './changes.js';
 import type { ReadScope } from './changes.js';
+import { compareEpochs, formatEpoch } from './epochs.js';
 import { computePause, computeWait } from './pacing.js';
 import type { PacingInputs } from './pacing.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -66,19 +67,6 @@
   readonly newest: NewestReads;
 }
 
-/** Order of the epoch of an answer and that of the newest applied records. */
-type EpochOrder = 'same' | 'older' | 'newer';
-
-/**
- * Compares the epoch of an answer with that of a position. An answer without an epoch comes from a
- * store that states none, and is taken to have that of the position. Where only the position has
- * none, the records may stem from any copy of the store.
- */
-const compareEpochs = (answer: StoreEpoch, position: StoreEpoch): EpochOrder => {
-  if (answer === null || answer === position) return 'same';
-  return position === null || answer > position ? 'newer' : 'older';
-};
-
 const getPosition = (newest: NewestReads, feed: FeedName): FeedPosition | null =>
   newest.get(feed)?.position ?? null;
 
@@ -147,8 +135,6 @@
         },
       ];
 
-const formatEpoch = (epoch: StoreEpoch): number | string => epoch ?? 'none';
-
 const publishRestore = (
   feed: FeedName,
   before: FeedPosition,
