Do not end the endpoint daemon when its engine refuses a connection

Callers would see: an endpoint daemon that ends, with all its streams, when its engine is away for a moment.

Cause: passed the socket of each connection to reportResets. undici passes undefined in place of null for a connection that failed, and the exception was outside of the supervisor tree.

"an engine that refuses connections is reported as unreachable" covers it without processes.

--- a/packages/endpoint/engine/engineClient.test.ts
+++ b/packages/endpoint/engine/engineClient.test.ts
@@ -89,3 +89,20 @@
     t.is(stream.kind, 'engine-failed');
   }
 });
+
+// Guards against a daemon that ends because its engine refuses connections.
+test('an engine that refuses connections is reported as unreachable', async (t) => {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  const event = await new Promise<EndpointEvent>((resolve) => {
+    const url = `http://127.0.0.1:${port.toString()}`;
+    const client = createEngineClient(url, createSystemClock(), resolve);
+    t.teardown(client.close);
+    client.fetchHealth();
+  });
+  t.is(event.kind, 'health-failed');
+});
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -1,3 +1,4 @@
+import { Socket } from 'node:net';
 import { Agent, buildConnector, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { createParser } from 'eventsource-parser';
@@ -70,7 +71,8 @@
   return (options, callback) => {
     connect(options, (...result) => {
       const [, socket] = result;
-      if (socket !== null) reportResets(socket);
+      // A connection that failed has no socket; undici passes undefined against its types.
+      if (socket instanceof Socket) reportResets(socket);
       socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
         if (error.code === 'ECONNRESET') error.code = RESET_CODE;
       });
