Show that a removed worker gets requests after connections to the store fall silent

After all open connections to the store fall silent, gateways that are in touch again send requests to a worker whose entry was removed over 2 s before (DRAIN).

The cause is applyRecords in packages/gateway/feeds/feeds.ts, which makes removals uncertain for 2.5 s after any failed read, and removeEndpoint in packages/gateway/membership/membership.ts, which keeps the worker among the candidates meanwhile.

--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -80,7 +80,7 @@
     configure: (version, fields) => {
       store.put('keyed.op', 'config', { version, limits: LIMITS, ...fields });
     },
-    /** Registers a worker and renews its entry; returns a function that changes its state. */
+    /** Registers a worker and renews its entry. */
     register: ({ id, address }, service, zone, slots) => {
       const entry = { service, address, zone, version: 'v1', slots, state: 'ready' };
       const born = Date.now();
@@ -90,10 +90,14 @@
         store.put('keyed.servers', id, { ...entry, coldRemainingMs: 0, born, sequence });
       };
       write();
-      timers.push(setInterval(write, HEARTBEAT_MS));
-      return (state) => {
-        entry.state = state;
-        write();
+      const timer = setInterval(write, HEARTBEAT_MS);
+      timers.push(timer);
+      return {
+        /** Removes the entry of a worker that leaves without having reported it. */
+        remove: () => {
+          clearInterval(timer);
+          store.remove('keyed.servers', id);
+        },
       };
     },
     startGateways: async (specs) => {
