Show that a generation runs at two workers after its connection falls silent

After the open connections to the workers fall silent, gateways that are in touch again let each generation go on at the holder of its copy, while the worker before works on it for seconds (TWICE).

The cause is packages/gateway/requests/silence.ts: the silent attempt is ended by closing its connection, and the close does not arrive on a connection that is silent for good.

The earlier cases are numbered anew, the gravest first: CONFIG is review/3 and DRAIN review/4.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,29 +1,30 @@
 /**
- * Shows for how long a route still leads to its old service after all open connections to the store
- * have fallen silent while new ones work. Exits with 1 if it does so beyond the bound at gateways that
- * are in touch again, 0 if not, 2 without a result.
+ * Shows whether a generation goes on at another worker while the worker before still works on it,
+ * after the open connections to the workers have fallen silent while new ones work. Exits with 1 if
+ * so, 0 if not, 2 without a result.
  */
 import { writeFileSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { HOST_NAME, PLAIN_SERVICE, UNSAFE_ROUTE, ZONES, startPlatform } from '../lib/platform.mjs';
+import { startEngineWorker } from '../lib/engineWorker.mjs';
+import { ENGINE_SERVICE, HOST_NAME, STREAM_ROUTE, ZONES, startPlatform } from '../lib/platform.mjs';
 import { sendRaw } from '../lib/rawClient.mjs';
 import { startSilentProxy } from '../lib/silentProxy.mjs';
-import { startWorker } from '../lib/worker.mjs';
 
-/** Bounds of the sheet of clt-pool. */
+/** `contactMs` of the sheet of clt-pool. */
 const CONTACT_MS = 3_000;
-const CONFIG_APPLY_MS = 2_000;
 
-/** Time in which the gateways run undisturbed. */
-const CALM_MS = 5_000;
+/** Time for which two workers may work on one request. */
+const OVERLAP_MS = 400;
 
-/** Time from the disruption to the acknowledged change. */
-const CHANGE_AFTER_MS = 100;
+const LONG_EVENTS = 500;
+const SHORT_EVENTS = 3;
+const GAP_MS = 30;
+const SLOTS = 32;
+const LONG_STREAMS = 2;
+const SILENCE_AFTER_MS = 2_000;
 
-const WATCH_MS = 10_000;
-const SEND_INTERVAL_MS = 100;
-const WORK_MS = 21;
-const SLOTS = 6;
+/** Interval of the short streams, which show that new connections to the workers work. */
+const SHORT_INTERVAL_MS = 200;
 
 const isTroubled = process.env.TROUBLE !== '0';
 const lines = [];
@@ -35,109 +36,125 @@
 };
 
 const now = () => performance.now();
-const runs = new Map();
+const runs = [];
+const copies = new Map();
 const platform = await startPlatform();
-const startWorkers = (service) =>
-  Promise.all(
-    ZONES.map((_, index) =>
-      startWorker('127.0.0.1', `${service}-${index}`, {
-        workMs: WORK_MS,
-        now,
-        onRun: ({ at, requestId }) => runs.set(requestId, { at, service }),
-      }),
-    ),
-  );
-const oldWorkers = await startWorkers('old-core');
-const newWorkers = await startWorkers('new-core');
 const proxies = [];
+const workers = [];
+for (const [index, zone] of ZONES.entries()) {
+  let address = '';
+  const worker = await startEngineWorker('127.0.0.1', `engine-${index}`, {
+    copies,
+    countEvents: (url) => (url.includes('short') ? SHORT_EVENTS : LONG_EVENTS),
+    gapMs: GAP_MS,
+    getPublicAddress: () => address,
+    now,
+    onRun: (run) => runs.push(run),
+  });
+  const proxy = await startSilentProxy('127.0.0.1', { host: '127.0.0.1', port: worker.port });
+  address = `127.0.0.1:${proxy.port}`;
+  platform.register({ id: worker.id, address }, 'drafter', zone, SLOTS);
+  workers.push(worker);
+  proxies.push(proxy);
+}
 try {
-  const configure = (version, service) =>
-    platform.configure(version, {
-      routes: [{ ...UNSAFE_ROUTE, service }],
-      services: ['old-core', 'new-core'].map((name) => ({ ...PLAIN_SERVICE, name })),
-      tenants: [{ name: 'tenant-1', apiKeys: ['key-1'] }],
-    });
-  configure(1, 'old-core');
-  for (const [index, zone] of ZONES.entries()) {
-    platform.register(oldWorkers[index], 'old-core', zone, SLOTS);
-    platform.register(newWorkers[index], 'new-core', zone, SLOTS);
-  }
-  const specs = [];
-  for (const [index, host] of ['127.0.0.2', '127.0.0.3'].entries()) {
-    const proxy = await startSilentProxy(host, { host: '127.0.0.1', port: platform.store.port });
-    proxies.push(proxy);
-    const storeAddress = `${host}:${proxy.port}`;
-    specs.push({ host, name: `edge-${index + 1}`, zone: ZONES[index], storeAddress });
-  }
-  const { started, ready } = await platform.startGateways(specs);
+  platform.configure(1, {
+    routes: [STREAM_ROUTE],
+    services: [ENGINE_SERVICE],
+    tenants: [{ name: 'tenant-1', apiKeys: ['key-1'] }],
+  });
+  const { started, ready } = await platform.startGateways([
+    { host: '127.0.0.2', name: 'edge-1', zone: 'pos-a' },
+    { host: '127.0.0.3', name: 'edge-2', zone: 'pos-b' },
+  ]);
+  const send = ({ host, front }, id, path) =>
+    sendRaw(
+      { host, port: front },
+      {
+        method: 'POST',
+        path,
+        body: 'a memo, please',
+        headers: {
+          Host: HOST_NAME,
+          'Request-Id': id,
+          'Deadline-Ms': 39_000,
+          Credential: 'key-1',
+          Connection: 'close',
+          Model: 'm',
+          'Token-Count': `300,${LONG_EVENTS * 4}`,
+          'Prefix-Hash': `${Buffer.from(id).toString('hex')}:300`,
+        },
+      },
+    );
   if (!ready) finish(2, 'RESULT the gateways did not become ready');
   else {
-    await sleep(CALM_MS);
+    await sleep(1_000);
+    const startedAt = now();
+    const toTime = (at) => `${Math.round(at - startedAt)} ms`;
+    const calls = started.flatMap((gateway, index) =>
+      Array.from({ length: LONG_STREAMS }, async (_, stream) => {
+        const id = `memo-${index + 1}-${stream}`;
+        return { id, ...(await send(gateway, id, '/memo/long')) };
+      }),
+    );
+    let shorts = 0;
+    const shortCalls = [];
+    const timer = setInterval(() => {
+      for (const gateway of started) {
+        shorts += 1;
+        shortCalls.push(send(gateway, `short-${shorts}`, '/memo/short'));
+      }
+    }, SHORT_INTERVAL_MS);
+    await sleep(SILENCE_AFTER_MS);
     const silencedAt = now();
     if (isTroubled) {
       const counts = proxies.map((proxy) => proxy.silence());
-      record(`0 ms: open connections to the store fall silent, by gateway: ${counts.join(', ')}`);
+      record(`${toTime(silencedAt)}: open connections to the workers fall silent: ${counts}`);
     }
-    await sleep(CHANGE_AFTER_MS);
-    configure(4, 'new-core');
-    const changedAt = now();
-    record(`${Math.round(changedAt - silencedAt)} ms: the store acknowledges the new version`);
-    const requests = [];
-    const calls = [];
-    let next = 0;
-    const timer = setInterval(() => {
-      for (const [index, { host, front }] of started.entries()) {
-        next += 1;
-        const request = { id: `q-${next}`, gateway: index + 1, sentAt: now() };
-        requests.push(request);
-        const headers = {
-          Host: HOST_NAME,
-          'Request-Id': request.id,
-          'Deadline-Ms': 600,
-          Credential: 'key-1',
-          Connection: 'close',
-        };
-        const call = { method: 'POST', path: '/sweep/1', headers, body: 'a sweep' };
-        calls.push(
-          sendRaw({ host, port: front }, call).then(({ status }) => {
-            request.status = status;
-          }),
+    const answers = await Promise.all(calls);
+    clearInterval(timer);
+    await Promise.all(shortCalls);
+    let overlaps = 0;
+    for (const { id, status, body, ended } of answers) {
+      const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, event]) => Number(event));
+      record(
+        `answer ${id}: status ${status}, ${ids.length} events to ${ids.at(-1)}, ended "${ended}"`,
+      );
+      const own = runs.filter(({ requestId }) => requestId === id);
+      for (const run of own) {
+        const end = run.end === null ? 'running' : `${run.end.kind} at ${toTime(run.end.at)}`;
+        record(`  ${run.worker} ${run.start} at ${toTime(run.startedAt)}, ${end}`);
+      }
+      for (const [index, next] of own.entries()) {
+        const before = own[index - 1];
+        if (before === undefined || next.startedAt < silencedAt + CONTACT_MS) continue;
+        const workedAt = before.lastEventAt ?? before.startedAt;
+        if (workedAt < next.startedAt + OVERLAP_MS) continue;
+        const reached = runs.filter(
+          ({ requestId, startedAt: at, worker }) =>
+            requestId.startsWith('short') &&
+            worker === before.worker &&
+            Math.abs(at - next.startedAt) < CONTACT_MS,
+        );
+        record(
+          `  ${before.worker} still made an event ${Math.round(workedAt - next.startedAt)} ms after ` +
+            `${next.worker} had gone on; it got ${reached.length} other requests within ` +
+            `${CONTACT_MS} ms of that`,
         );
+        if (reached.length > 0) overlaps += 1;
       }
-    }, SEND_INTERVAL_MS);
-    await sleep(WATCH_MS);
-    clearInterval(timer);
-    await Promise.all(calls);
-    const inTouchFrom = isTroubled ? silencedAt + CONTACT_MS : changedAt;
-    const late = requests.filter(
-      ({ id, sentAt }) =>
-        runs.get(id)?.service === 'old-core' &&
-        sentAt > changedAt + CONFIG_APPLY_MS &&
-        sentAt > inTouchFrom,
-    );
-    for (const { id, gateway, sentAt, status } of requests) {
-      const run = runs.get(id);
-      const place =
-        run === undefined
-          ? 'not run'
-          : `run by ${run.service} at ${Math.round(run.at - silencedAt)} ms`;
-      const at = Math.round(sentAt - silencedAt);
-      record(`${at} ms: ${id} to edge-${gateway}: ${status}, ${place}`);
     }
-    const moved = requests.filter(({ id }) => runs.get(id)?.service === 'new-core');
-    if (late.length > 0) {
-      const last = Math.max(...late.map(({ sentAt }) => sentAt));
+    if (overlaps > 0)
       finish(
         1,
-        `RESULT broken: the old service ran ${late.length} requests that were sent over ` +
-          `${CONFIG_APPLY_MS} ms after the acknowledgement and over ${CONTACT_MS} ms after the ` +
-          `disruption, the last ${Math.round(last - changedAt)} ms after the acknowledgement`,
+        `RESULT broken: ${overlaps} of ${answers.length} generations ran at two workers at once`,
       );
-    } else if (moved.length === 0) finish(2, 'RESULT the new service ran no request');
-    else finish(0, 'RESULT held: the old service ran no request beyond the bound');
+    else if (!isTroubled && answers.some(({ status }) => status !== 200))
+      finish(2, 'RESULT a generation was not served');
+    else finish(0, 'RESULT held: no generation ran at two workers at once');
   }
 } finally {
   platform.close();
   for (const proxy of proxies) proxy.close();
-  for (const worker of [...oldWorkers, ...newWorkers]) worker.close();
+  for (const worker of workers) worker.close();
 }
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,7 +1,7 @@
 /**
- * Shows for how long gateways send requests to a worker whose entry was removed, after all open
- * connections to the store have fallen silent while new ones work. Exits with 1 if they do so beyond
- * the bound when they are in touch again, 0 if not, 2 without a result.
+ * Shows for how long a route still leads to its old service after all open connections to the store
+ * have fallen silent while new ones work. Exits with 1 if it does so beyond the bound at gateways that
+ * are in touch again, 0 if not, 2 without a result.
  */
 import { writeFileSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -12,18 +12,16 @@
 
 /** Bounds of the sheet of clt-pool. */
 const CONTACT_MS = 3_000;
-const DRAIN_MS = 2_000;
+const CONFIG_APPLY_MS = 2_000;
 
 /** Time in which the gateways run undisturbed. */
 const CALM_MS = 5_000;
 
-/** Time from the disruption to the removal of the entry. */
-const REMOVE_AFTER_MS = 100;
+/** Time from the disruption to the acknowledged change. */
+const CHANGE_AFTER_MS = 100;
 
-/** The worker serves on for all of this time after its removal. */
 const WATCH_MS = 10_000;
-
-const SEND_INTERVAL_MS = 50;
+const SEND_INTERVAL_MS = 100;
 const WORK_MS = 21;
 const SLOTS = 6;
 
@@ -39,25 +37,31 @@
 const now = () => performance.now();
 const runs = new Map();
 const platform = await startPlatform();
-const workers = await Promise.all(
-  ZONES.map((_, index) =>
-    startWorker('127.0.0.1', `core-${index}`, {
-      workMs: WORK_MS,
-      now,
-      onRun: ({ at, requestId, worker }) => runs.set(requestId, { at, worker }),
-    }),
-  ),
-);
+const startWorkers = (service) =>
+  Promise.all(
+    ZONES.map((_, index) =>
+      startWorker('127.0.0.1', `${service}-${index}`, {
+        workMs: WORK_MS,
+        now,
+        onRun: ({ at, requestId }) => runs.set(requestId, { at, service }),
+      }),
+    ),
+  );
+const oldWorkers = await startWorkers('old-core');
+const newWorkers = await startWorkers('new-core');
 const proxies = [];
 try {
-  platform.configure(1, {
-    routes: [UNSAFE_ROUTE],
-    services: [PLAIN_SERVICE],
-    tenants: [{ name: 'tenant-1', apiKeys: ['key-1'] }],
-  });
-  const entries = workers.map((worker, index) =>
-    platform.register(worker, 'pool-core', ZONES[index], SLOTS),
-  );
+  const configure = (version, service) =>
+    platform.configure(version, {
+      routes: [{ ...UNSAFE_ROUTE, service }],
+      services: ['old-core', 'new-core'].map((name) => ({ ...PLAIN_SERVICE, name })),
+      tenants: [{ name: 'tenant-1', apiKeys: ['key-1'] }],
+    });
+  configure(1, 'old-core');
+  for (const [index, zone] of ZONES.entries()) {
+    platform.register(oldWorkers[index], 'old-core', zone, SLOTS);
+    platform.register(newWorkers[index], 'new-core', zone, SLOTS);
+  }
   const specs = [];
   for (const [index, host] of ['127.0.0.2', '127.0.0.3'].entries()) {
     const proxy = await startSilentProxy(host, { host: '127.0.0.1', port: platform.store.port });
@@ -74,6 +78,10 @@
       const counts = proxies.map((proxy) => proxy.silence());
       record(`0 ms: open connections to the store fall silent, by gateway: ${counts.join(', ')}`);
     }
+    await sleep(CHANGE_AFTER_MS);
+    configure(4, 'new-core');
+    const changedAt = now();
+    record(`${Math.round(changedAt - silencedAt)} ms: the store acknowledges the new version`);
     const requests = [];
     const calls = [];
     let next = 0;
@@ -97,41 +105,39 @@
         );
       }
     }, SEND_INTERVAL_MS);
-    await sleep(REMOVE_AFTER_MS);
-    entries[0].remove();
-    const removedAt = now();
-    record(`${Math.round(removedAt - silencedAt)} ms: the store removes the entry of core-0`);
     await sleep(WATCH_MS);
     clearInterval(timer);
     await Promise.all(calls);
-    const inTouchFrom = isTroubled ? silencedAt + CONTACT_MS : removedAt;
-    const late = requests.filter(({ id, sentAt }) => {
-      const run = runs.get(id);
-      return run?.worker === 'core-0' && run.at > removedAt + DRAIN_MS && sentAt > inTouchFrom;
-    });
+    const inTouchFrom = isTroubled ? silencedAt + CONTACT_MS : changedAt;
+    const late = requests.filter(
+      ({ id, sentAt }) =>
+        runs.get(id)?.service === 'old-core' &&
+        sentAt > changedAt + CONFIG_APPLY_MS &&
+        sentAt > inTouchFrom,
+    );
     for (const { id, gateway, sentAt, status } of requests) {
       const run = runs.get(id);
-      const at = Math.round(sentAt - silencedAt);
       const place =
         run === undefined
           ? 'not run'
-          : `run by ${run.worker} at ${Math.round(run.at - silencedAt)} ms`;
+          : `run by ${run.service} at ${Math.round(run.at - silencedAt)} ms`;
+      const at = Math.round(sentAt - silencedAt);
       record(`${at} ms: ${id} to edge-${gateway}: ${status}, ${place}`);
     }
+    const moved = requests.filter(({ id }) => runs.get(id)?.service === 'new-core');
     if (late.length > 0) {
-      const last = Math.max(...late.map(({ id }) => runs.get(id).at));
+      const last = Math.max(...late.map(({ sentAt }) => sentAt));
       finish(
         1,
-        `RESULT broken: ${late.length} requests reached core-0 over ${DRAIN_MS} ms after the removal ` +
-          `of its entry, sent over ${CONTACT_MS} ms after the disruption, the last ` +
-          `${Math.round(last - removedAt)} ms after the removal`,
+        `RESULT broken: the old service ran ${late.length} requests that were sent over ` +
+          `${CONFIG_APPLY_MS} ms after the acknowledgement and over ${CONTACT_MS} ms after the ` +
+          `disruption, the last ${Math.round(last - changedAt)} ms after the acknowledgement`,
       );
-    } else if (!requests.some(({ id }) => runs.get(id)?.worker === 'core-0'))
-      finish(2, 'RESULT core-0 ran no request');
-    else finish(0, 'RESULT held: core-0 got no request beyond the bound');
+    } else if (moved.length === 0) finish(2, 'RESULT the new service ran no request');
+    else finish(0, 'RESULT held: the old service ran no request beyond the bound');
   }
 } finally {
   platform.close();
   for (const proxy of proxies) proxy.close();
-  for (const worker of workers) worker.close();
+  for (const worker of [...oldWorkers, ...newWorkers]) worker.close();
 }
--- a/review/lib/silentProxy.mjs
+++ b/review/lib/silentProxy.mjs
@@ -12,12 +12,15 @@
         if (link.state === 'passing') to.write(bytes);
       });
       from.on('error', () => undefined);
-      from.on('close', () => {
-        if (link.state === 'passing') to.destroy();
-        if (incoming.destroyed) {
-          outgoing.destroy();
-          open.delete(link);
-        }
+      from.on('end', () => {
+        if (link.state === 'passing') to.end();
+      });
+      from.on('close', (hadError) => {
+        // The end of one side of a silent connection does not reach the other side.
+        if (link.state === 'silent') return;
+        open.delete(link);
+        if (hadError) to.resetAndDestroy();
+        else to.destroy();
       });
     };
     forward(incoming, outgoing);
@@ -25,8 +28,8 @@
   });
   await new Promise((resolve) => server.listen(0, host, resolve));
   return {
+    host,
     port: server.address().port,
-    countOpen: () => open.size,
     silence: () => {
       for (const link of open) link.state = 'silent';
       return open.size;
--- a/review/lib/streamWorker.mjs
+++ b/review/lib/streamWorker.mjs
@@ -4,7 +4,11 @@
  */
 import { createServer } from 'node:http';
 
-export const startStreamWorker = async (host, id, { events, gapMs, framing, now, onRun }) => {
+export const startStreamWorker = async (
+  host,
+  id,
+  { events, firstMs = 0, gapMs, framing, now, onRun },
+) => {
   const server = createServer((incoming, response) => {
     const chunks = [];
     incoming.on('data', (chunk) => chunks.push(chunk));
@@ -32,20 +36,27 @@
         response.shouldKeepAlive = false;
         response.useChunkedEncodingByDefault = false;
       }
-      response.writeHead(200, {
-        'Content-Type': 'text/event-stream',
-        'Request-Id': requestId,
-        'Response-Signature': `${id}.${requestId}`,
-      });
-      const timer = setInterval(() => {
-        run.events += 1;
-        response.write(`id: ${run.events}\ndata: token ${run.events}\n\n`);
-        if (run.events < events) return;
+      let timer = null;
+      const begin = () => {
+        response.writeHead(200, {
+          'Content-Type': 'text/event-stream',
+          'Request-Id': requestId,
+          'Response-Signature': `${id}.${requestId}`,
+        });
+        timer = setInterval(() => {
+          run.events += 1;
+          response.write(`id: ${run.events}\ndata: token ${run.events}\n\n`);
+          if (run.events < events) return;
+          clearInterval(timer);
+          run.endedAt = now();
+          response.end();
+        }, gapMs);
+      };
+      const firstTimer = setTimeout(begin, firstMs);
+      response.on('close', () => {
+        clearTimeout(firstTimer);
         clearInterval(timer);
-        run.endedAt = now();
-        response.end();
-      }, gapMs);
-      response.on('close', () => clearInterval(timer));
+      });
     });
   });
   await new Promise((resolve) => server.listen(0, host, resolve));
