--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -7,6 +7,9 @@
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+// The handlers of `exit` end the gateways, also when the script is ended early.
+for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2));
+
 export const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 
 const findFreePort = (host) =>
