--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -94,6 +94,7 @@
     const calls = started.flatMap((gateway, index) =>
       Array.from({ length: LONG_STREAMS }, async (_, stream) => {
         const id = `memo-${index + 1}-${stream}`;
+        record(`${toTime(now())}: sent ${id} to edge-${index + 1}`);
         return { id, ...(await send(gateway, id, '/memo/long')) };
       }),
     );
@@ -102,7 +103,10 @@
     const timer = setInterval(() => {
       for (const gateway of started) {
         shorts += 1;
-        shortCalls.push(send(gateway, `short-${shorts}`, '/memo/short'));
+        const id = `short-${shorts}`;
+        const sentAt = now();
+        const call = send(gateway, id, '/memo/short');
+        shortCalls.push(call.then(({ status }) => ({ id, sentAt, status })));
       }
     }, SHORT_INTERVAL_MS);
     await sleep(SILENCE_AFTER_MS);
@@ -113,7 +117,7 @@
     }
     const answers = await Promise.all(calls);
     clearInterval(timer);
-    await Promise.all(shortCalls);
+    const shortAnswers = await Promise.all(shortCalls);
     let overlaps = 0;
     for (const { id, status, body, ended } of answers) {
       const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, event]) => Number(event));
@@ -144,6 +148,10 @@
         if (reached.length > 0) overlaps += 1;
       }
     }
+    for (const { id, sentAt, status } of shortAnswers) {
+      const places = runs.filter(({ requestId }) => requestId === id).map(({ worker }) => worker);
+      record(`${toTime(sentAt)}: sent ${id}: ${status}, run by ${places.join(', ') || 'nobody'}`);
+    }
     if (overlaps > 0)
       finish(
         1,
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -23,7 +23,7 @@
 const MEMOS_PER_SECOND = 3.24;
 
 /** Size of a memo with its documents, below `maxBodyBytes` (4,194,304). */
-const BODY_BYTES = 3_000_000;
+const BODY_BYTES = 2_500_000;
 
 /** Events of a memo, as the mean of `pool-memo`. */
 const EVENTS = 233;
