Stop a run by an order before it resumes after a silent connection

Cause: the silence of a connection was taken for that of its engine, and the close of the connection for a message to it. Nothing asked the engine, and the logs could not tell a silent engine from a silent connection.

Change: after 0.4 of the time after a disruption without an event, the engine is asked on a new connection what it runs (one report for all its streams). If the run made events of which none arrived, it is ordered to stop, and the generation resumes from its memory. A run that does not advance stays until it has stalled; a stalled one that can be reached is ordered to stop, too.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -331,6 +331,11 @@
     level: 'info',
     text: 'The transfer of a running generation to another endpoint reached a new state.',
   },
+  'run-checked': {
+    number: 5009,
+    level: 'info',
+    text: 'The engine of a silent stream answered on a new connection whether it runs the request.',
+  },
   'settings-reloaded': {
     number: 1007,
     level: 'info',
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -23,6 +23,7 @@
     case 'attempt-failed':
     case 'transfer-ended':
     case 'endpoint-probed':
+    case 'run-checked':
     case 'quarantines-loaded':
     case 'caller-disconnected':
     case 'feed-answered':
@@ -53,6 +54,7 @@
     case 'placement-due':
     case 'hedge-due':
     case 'stall-check-due':
+    case 'run-check-due':
     case 'overlap-ended':
     case 'endpoint-leaving':
     case 'transfer-due':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -1,13 +1,14 @@
 import type {
   AnswerHead,
   AttemptHead,
-  EngineReport,
   FeedName,
   FeedPosition,
   FeedResult,
   MoveChange,
+  PhaseReport,
   RecordChange,
   RemovalCertainty,
+  RunState,
   StoreEpoch,
   TransferOrder,
   TransferResult,
@@ -101,7 +102,7 @@
   | { readonly kind: 'load-observed'; readonly endpoint: EndpointId; readonly requests: number }
   /** The engines whose registrations may be stale are to be polled for their state. */
   | { readonly kind: 'report-poll-due' }
-  | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: EngineReport }
+  | { readonly kind: 'report-read'; readonly endpoint: EndpointId; readonly report: PhaseReport }
   | { readonly kind: 'removal-due'; readonly id: EndpointId; readonly removedAt: Millis }
 );
 
@@ -173,6 +174,14 @@
   | { readonly kind: 'placement-due'; readonly key: number }
   | { readonly kind: 'hedge-due'; readonly key: number; readonly attempt: number }
   | { readonly kind: 'stall-check-due'; readonly key: number; readonly attempt: number }
+  /** The engine of a silent stream is to be asked whether it still runs the request. */
+  | { readonly kind: 'run-check-due'; readonly key: number; readonly attempt: number }
+  | {
+      readonly kind: 'run-checked';
+      readonly key: number;
+      readonly attempt: number;
+      readonly run: RunState;
+    }
   /** The time is over in which a silent endpoint may go on with a stream that another continues. */
   | { readonly kind: 'overlap-ended'; readonly key: number; readonly attempt: number }
   | {
@@ -278,6 +287,14 @@
       readonly attempt: number;
       readonly address: EndpointAddress;
     }
+  /** Asks the engine of an attempt on a new connection what it runs. */
+  | {
+      readonly kind: 'check-run';
+      readonly key: number;
+      readonly attempt: number;
+      readonly requestId: string;
+      readonly address: EndpointAddress;
+    }
   | { readonly kind: 'cancel-attempt'; readonly key: number; readonly attempt: number }
   | { readonly kind: 'start-answer'; readonly key: number; readonly head: AnswerHead }
   | { readonly kind: 'write-answer'; readonly key: number; readonly bytes: Uint8Array }
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -23,7 +23,7 @@
 import type { StatedLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, MembershipEvent } from '../events.js';
-import type { EngineReport, RemovalCertainty } from '../types.js';
+import type { PhaseReport, RemovalCertainty } from '../types.js';
 
 /** Newest statement of an endpoint about its request limit. */
 export interface StatedLimit {
@@ -330,7 +330,7 @@
 const applyReport = (
   { endpoints, gone }: MembershipState,
   id: EndpointId,
-  { phase }: EngineReport,
+  { phase }: PhaseReport,
   now: Millis,
 ): Effects => {
   const known = endpoints.get(id);
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -5,6 +5,7 @@
 import type { Responders } from './frontend/responders.js';
 import type { PeerSocket } from './peers/peerSocket.js';
 import { STORE_RETRY_MS } from './quarantine/constants.js';
+import { findRun } from './requests/runState.js';
 import type { QuarantineLoad, QuarantineRecord, QuarantineStore } from './quarantine/types.js';
 import type {
   EngineControl,
@@ -189,6 +190,22 @@
   );
 };
 
+const checkRun = (
+  { address, attempt, key, kind, requestId }: Extract<GatewayEffect, { kind: 'check-run' }>,
+  adapters: GatewayAdapters,
+): void => {
+  handleResult<EngineReport | null>(
+    kind,
+    adapters.engines.readReport(address),
+    adapters,
+    () => null,
+    (report) => {
+      const run = findRun(report, requestId);
+      adapters.loop().post({ to: 'requests', kind: 'run-checked', key, attempt, run });
+    },
+  );
+};
+
 const getRequestKey = (effect: GatewayEffect): number | null => {
   if (effect.kind === 'open-attempt') return effect.order.key;
   return 'key' in effect ? effect.key : null;
@@ -276,6 +293,9 @@
     case 'probe-endpoint':
       probeEndpoint(effect, adapters);
       return;
+    case 'check-run':
+      checkRun(effect, adapters);
+      return;
     case 'cancel-attempt':
       endpoints.cancel(effect.key, effect.attempt);
       return;
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -157,6 +157,7 @@
   const { key } = forwarding.request;
   const effects: GatewayEffect[] = [];
   attempt.lastEventAt = now;
+  attempt.reportedRun = null;
   const eventsBefore = attempt.events;
   attempt.events += events.length;
   if (eventsBefore < SURVIVED_EVENTS && attempt.events >= SURVIVED_EVENTS) {
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -151,6 +151,7 @@
     bytes: 0,
     splitter: EMPTY_SPLITTER,
     lastEventAt: now,
+    reportedRun: null,
     events: 0,
     transfer: null,
     copy: null,
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -29,6 +29,19 @@
  */
 export const CONTINUATION_OVERLAP_MS = 200;
 
+/**
+ * Time without an event after which an engine is asked about the run of a stream, as a share of the
+ * time after a disruption from which two engines may not work on one generation. Two answers of the
+ * engine and the order to stop have to fit into the rest of it.
+ */
+export const RUN_CHECK_SHARE = 0.4;
+
+/** Interval between two questions about a run, as a share of the time without an event. */
+export const RUN_CHECK_INTERVAL_SHARE = 0.4;
+
+/** Time in which a continuation reaches its engine. */
+export const UNVERIFIED_CONTINUATION_MARGIN_MS = 400;
+
 /** Number of attempts that did not run a request after which it is refused. */
 export const MAX_NOT_RUN_ATTEMPTS = 4;
 
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -16,6 +16,7 @@
 } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
 import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
+import { checkRun, handleRunState, startRunChecks } from './runChecks.js';
 import { checkStall, endSilentAttempt, startOverlap } from './silence.js';
 import type {
   Attempt,
@@ -214,6 +215,7 @@
       return [
         { kind: 'send-attempt', key: event.key, attempt: event.attempt },
         ...startOverlap(forwarding, attempt),
+        ...startRunChecks(forwarding, attempt, context),
       ];
     case 'answer-started':
       return startAnswer(forwarding, attempt, event.head, context);
@@ -231,6 +233,10 @@
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'stall-check-due':
       return checkStall(forwarding, attempt, context);
+    case 'run-check-due':
+      return checkRun(forwarding, attempt, context);
+    case 'run-checked':
+      return handleRunState(forwarding, attempt, event.run, context);
     case 'overlap-ended':
       return endSilentAttempt(forwarding, attempt, context);
     default:
@@ -262,6 +268,8 @@
     case 'endpoint-probed':
     case 'hedge-due':
     case 'stall-check-due':
+    case 'run-check-due':
+    case 'run-checked':
     case 'overlap-ended': {
       const attempt = forwarding.attempts.get(event.attempt);
       return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
--- /dev/null
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -0,0 +1,146 @@
+import test from 'ava';
+import {
+  buildEvents,
+  createRequestsHarness,
+  findAttemptOrders,
+  findEffect,
+  SIGNED_HEAD,
+} from './requests.fixture.js';
+import type { RequestsHarness } from './requests.fixture.js';
+import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { RunState } from '../types.js';
+
+/** Time after a disruption from which two engines may not work on one generation. */
+const OUTAGE_MS = 3_000;
+
+const STEP_MS = 10;
+
+const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
+
+const sendEvents = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) =>
+  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(from, to) });
+
+const startStream = (harness: RequestsHarness, path = '/memo/1'): AttemptOrder => {
+  const [order] = findAttemptOrders(harness.sendRequest(path));
+  if (order === undefined) throw new Error('no attempt was opened');
+  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
+  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
+  sendEvents(harness, order, 1, 3);
+  return order;
+};
+
+/** Lets the stream be silent, while each question about its run gets the next answer. */
+const waitSilently = (
+  harness: RequestsHarness,
+  durationMs: number,
+  getRun: () => RunState,
+): readonly (GatewayEffect & { readonly atMs: number })[] => {
+  const found: (GatewayEffect & { readonly atMs: number })[] = [];
+  const collect = (effects: readonly GatewayEffect[], atMs: number): void => {
+    for (const effect of effects) {
+      found.push({ ...effect, atMs });
+      if (effect.kind !== 'check-run') continue;
+      const { attempt, key } = effect;
+      const event = { to: 'requests', kind: 'run-checked', key, attempt, run: getRun() } as const;
+      collect(harness.post(event), atMs);
+    }
+  };
+  for (let atMs = STEP_MS; atMs <= durationMs; atMs += STEP_MS)
+    collect(harness.wait(STEP_MS), atMs);
+  return found;
+};
+
+/** Answers of an engine whose run goes on. */
+const createAdvancingRun = (): (() => RunState) => {
+  let events = 3;
+  return () => ({ kind: 'running', events: (events += 20) });
+};
+
+// Guards against a generation that two engines run, as the close of a silent connection does not reach
+// the first one (review/2).
+test('an engine that runs on behind a silent connection is told to stop first', (t) => {
+  for (const path of ['/memo/1', '/summary/1']) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, path);
+    const effects = waitSilently(harness, OUTAGE_MS, createAdvancingRun());
+    const transfer = effects.find((effect) => effect.kind === 'start-transfer');
+    t.is(transfer?.kind === 'start-transfer' ? transfer.order.mode : '', 'stop');
+    t.true((transfer?.atMs ?? Infinity) < OUTAGE_MS, 'the order fits into the time of an outage');
+    t.deepEqual(findAttemptOrders(effects), []);
+    const resumed = harness.post({
+      ...toEvent(order),
+      kind: 'transfer-ended',
+      source: { id: order.head.endpointId, address: order.address },
+      result: { kind: 'copied', handle: 'h-1', events: 60 },
+    });
+    t.is(findEffect(resumed, 'cancel-attempt')?.attempt, order.attempt);
+    const [continuation] = findAttemptOrders(resumed);
+    t.like(continuation?.head, { lastEventId: '3', copy: { kind: 'transfer', handle: 'h-1' } });
+  }
+});
+
+// Guards against a run that goes on behind a silent connection and is never stopped, because the order
+// to stop it was lost like the connection before it.
+test('the order to stop a run is repeated after a failure', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness);
+  const getRun = createAdvancingRun();
+  waitSilently(harness, OUTAGE_MS, getRun);
+  harness.post({
+    ...toEvent(order),
+    kind: 'transfer-ended',
+    source: { id: order.head.endpointId, address: order.address },
+    result: { kind: 'failed', message: 'the response timed out' },
+  });
+  t.truthy(findEffect(waitSilently(harness, OUTAGE_MS, getRun), 'start-transfer'));
+});
+
+// Guards against a move of a sound stream whose engine is silent for a second or so.
+test('a stream whose run does not advance stays until it has stalled', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness);
+  const effects = waitSilently(harness, OUTAGE_MS, () => ({ kind: 'running', events: 3 }));
+  t.truthy(findEffect(effects, 'check-run'));
+  t.is(findEffect(effects, 'start-transfer'), undefined);
+  t.deepEqual(findAttemptOrders(effects), []);
+  t.truthy(findEffect(sendEvents(harness, order, 4, 5), 'write-answer'));
+});
+
+// Guards against answers about the run before and after a pause that together look like progress
+// behind a silent connection.
+test('an event that arrives makes earlier answers about the run irrelevant', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness);
+  waitSilently(harness, 1_300, () => ({ kind: 'running', events: 3 }));
+  sendEvents(harness, order, 4, 5);
+  const effects = waitSilently(harness, 1_300, () => ({ kind: 'running', events: 5 }));
+  t.truthy(findEffect(effects, 'check-run'));
+  t.is(findEffect(effects, 'start-transfer'), undefined);
+});
+
+// Guards against two runs of a generation at an engine that does not state its runs: its stream may go
+// on elsewhere while the disruption of its connection excuses that, and not later.
+test('without a statement about the run a stream goes on elsewhere in time or not at all', (t) => {
+  const inTime = createRequestsHarness();
+  startStream(inTime);
+  const continued = waitSilently(inTime, OUTAGE_MS, () => ({ kind: 'not-stated' }));
+  const opened = continued.find((effect) => effect.kind === 'open-attempt');
+  t.true((opened?.atMs ?? Infinity) < OUTAGE_MS);
+
+  const late = createRequestsHarness();
+  late.setRetries('spent');
+  startStream(late);
+  waitSilently(late, OUTAGE_MS, () => ({ kind: 'not-stated' }));
+  late.setRetries('available');
+  const effects = waitSilently(late, OUTAGE_MS * 3, () => ({ kind: 'not-stated' }));
+  t.deepEqual(findAttemptOrders(effects), []);
+  t.is(findEffect(effects, 'cancel-attempt'), undefined);
+});
+
+// Guards against a stream that is lost with an engine that cannot be reached.
+test('a stream goes on elsewhere when its engine does not answer', (t) => {
+  const harness = createRequestsHarness();
+  startStream(harness);
+  const effects = waitSilently(harness, OUTAGE_MS * 2, () => ({ kind: 'unreachable' }));
+  t.is(findAttemptOrders(effects).length, 1);
+});
--- /dev/null
+++ b/packages/gateway/requests/runChecks.ts
@@ -0,0 +1,201 @@
+import {
+  MIN_STALL_TIMEOUT_MS,
+  RUN_CHECK_INTERVAL_SHARE,
+  RUN_CHECK_SHARE,
+  UNVERIFIED_CONTINUATION_MARGIN_MS,
+} from './constants.js';
+import { continueElsewhere } from './silence.js';
+import { computeStallTimeout } from './stallTimeout.js';
+import { transferAtOnce } from './transfers.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { GatewayEffect } from '../events.js';
+import type { RunState } from '../types.js';
+
+/** What is done after the engine of a silent stream has answered about its run. */
+type RunCheckResponse = 'wait' | 'moved' | 'no-target' | 'continued';
+
+const getStreamDelay = ({ inputs }: RequestsContext): Millis =>
+  inputs.getLiveSettings().learnWithin.outageMs * RUN_CHECK_SHARE;
+
+/**
+ * Computes the time without an event after which the engine is asked about its run. Before the first
+ * event a request may be queued, so the engine is asked as late as for a stalled stream.
+ */
+const computeCheckDelay = (
+  forwarding: Forwarding,
+  { events }: Attempt,
+  context: RequestsContext,
+): Millis => (events === 0 ? computeStallTimeout(forwarding) : getStreamDelay(context));
+
+const scheduleRunCheck = (
+  { request }: Forwarding,
+  { number }: Attempt,
+  delayMs: Millis,
+): GatewayEffect => ({
+  kind: 'schedule',
+  delayMs,
+  event: { to: 'requests', kind: 'run-check-due', key: request.key, attempt: number },
+});
+
+/**
+ * Schedules the first check of a stream's run.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is about to be sent
+ * @param context - state and inputs
+ * @returns effects; none for a request without a stream of an engine
+ */
+export const startRunChecks = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects =>
+  forwarding.route.answer === 'stream' && forwarding.service.engine !== null
+    ? [scheduleRunCheck(forwarding, attempt, getStreamDelay(context))]
+    : [];
+
+/** Reports whether another attempt or a transfer already decides what becomes of the stream. */
+const isDecided = (forwarding: Forwarding, attempt: Attempt): boolean =>
+  forwarding.attempts.size > 1 ||
+  attempt.failure !== null ||
+  (attempt.transfer !== null && attempt.transfer.phase !== 'waiting');
+
+/**
+ * Asks the engine of a silent stream on a new connection whether it still runs the request. A
+ * connection can fall silent for good while its endpoint works on, so silence alone shows neither
+ * that the endpoint has stopped nor that it would notice the close of the connection.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt with the stream
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const checkRun = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const delayMs = computeCheckDelay(forwarding, attempt, context);
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  // The delay is shorter once the first event arrives.
+  if (silentMs < delayMs) {
+    const waitMs = Math.min(delayMs - silentMs, getStreamDelay(context));
+    return [scheduleRunCheck(forwarding, attempt, waitMs)];
+  }
+  if (isDecided(forwarding, attempt)) return [scheduleRunCheck(forwarding, attempt, delayMs)];
+  return [
+    {
+      kind: 'check-run',
+      key: forwarding.request.key,
+      attempt: attempt.number,
+      requestId: forwarding.request.id,
+      address: attempt.endpoint.address,
+    },
+  ];
+};
+
+const describeRunCheck = (
+  { request, route }: Forwarding,
+  { endpoint, events, number }: Attempt,
+  run: RunState,
+  silentMs: Millis,
+  response: RunCheckResponse,
+): GatewayEffect => ({
+  kind: 'log',
+  name: 'run-checked',
+  details: {
+    requestId: request.id,
+    endpoint: endpoint.id,
+    entity: route.name,
+    data: {
+      attempt: number,
+      silentMs: Math.round(silentMs),
+      events,
+      run: run.kind,
+      reportedEvents: run.kind === 'running' ? run.events : -1,
+      response,
+    },
+  },
+});
+
+/**
+ * Reports whether a stream of an engine that does not state its runs may go on elsewhere. Soon after
+ * its newest event, a connection that fell silent still excuses two runs; later it may be that the
+ * engine works on and cannot be told to stop.
+ */
+const isUnverifiedContinuationAllowed = (
+  silentMs: Millis,
+  { inputs }: RequestsContext,
+): boolean => {
+  const { outageMs } = inputs.getLiveSettings().learnWithin;
+  return (
+    silentMs >= MIN_STALL_TIMEOUT_MS && silentMs < outageMs - UNVERIFIED_CONTINUATION_MARGIN_MS
+  );
+};
+
+/** Reports whether the run made events of which none arrived on the connection of the attempt. */
+const hasAdvanced = (before: RunState | null, run: RunState): boolean =>
+  before?.kind === 'running' && run.kind === 'running' && run.events > before.events;
+
+const decideResponse = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  before: RunState | null,
+  run: RunState,
+  context: RequestsContext,
+): { readonly response: RunCheckResponse; readonly effects: Effects } => {
+  switch (run.kind) {
+    case 'running': {
+      if (!hasAdvanced(before, run)) return { response: 'wait', effects: [] };
+      const moved = transferAtOnce({ forwarding, attempt }, context);
+      return moved === null
+        ? { response: 'no-target', effects: [] }
+        : { response: 'moved', effects: moved };
+    }
+    case 'not-stated': {
+      const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+      if (attempt.events === 0 || !isUnverifiedContinuationAllowed(silentMs, context))
+        return { response: 'wait', effects: [] };
+      return { response: 'continued', effects: continueElsewhere(forwarding, attempt, context) };
+    }
+    case 'unreachable':
+    case 'not-running':
+      // The stall check continues the stream elsewhere in time.
+      return { response: 'wait', effects: [] };
+    default:
+      return assertNever(run);
+  }
+};
+
+/**
+ * Handles what the engine of a silent stream says about the run. An engine that goes on while nothing
+ * arrives has lost the connection: it is told on a new one to stop the run, which then resumes from
+ * its memory.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt with the stream
+ * @param run - state of the run
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const handleRunState = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  run: RunState,
+  context: RequestsContext,
+): Effects => {
+  const delayMs = computeCheckDelay(forwarding, attempt, context);
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  if (silentMs < delayMs) return [scheduleRunCheck(forwarding, attempt, delayMs - silentMs)];
+  if (isDecided(forwarding, attempt)) return [scheduleRunCheck(forwarding, attempt, delayMs)];
+  const before = attempt.reportedRun;
+  attempt.reportedRun = run;
+  const { effects, response } = decideResponse(forwarding, attempt, before, run, context);
+  return [
+    describeRunCheck(forwarding, attempt, run, silentMs, response),
+    ...effects,
+    scheduleRunCheck(forwarding, attempt, silentMs * RUN_CHECK_INTERVAL_SHARE),
+  ];
+};
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -7,13 +7,16 @@
 import type { AttemptEnd } from './retrying.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { waitForTransfer } from './transferTurns.js';
+import { transferAtOnce } from './transfers.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
+import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { GatewayEffect } from '../events.js';
 
 /** What is done about a stream whose endpoint is silent. */
-type SilenceResponse = 'continued' | 'unanswered' | 'no-endpoint' | 'budget-spent';
+type SilenceResponse =
+  'continued' | 'moved' | 'unanswered' | 'no-endpoint' | 'budget-spent' | 'unverified';
 
 const scheduleStallCheck = (
   { request }: Forwarding,
@@ -81,6 +84,56 @@
   return canResume ? planFurtherAttempt(forwarding, 'continuation', context) : null;
 };
 
+/**
+ * Continues a silent stream at another endpoint, if one can. The silent one keeps its attempt until
+ * the continuation is under way.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is silent
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const continueElsewhere = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  const describe = (response: SilenceResponse): GatewayEffect =>
+    describeSilence(forwarding, attempt, silentMs, response);
+  const plan = planContinuation(forwarding, attempt, context);
+  if (plan === null) return [describe('no-endpoint')];
+  if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent')];
+  return [describe('continued'), ...openContinuation(forwarding, plan, context)];
+};
+
+/**
+ * Lets a stalled stream go on elsewhere. An endpoint that can be reached may work on without noticing
+ * the close of its connection, so it is ordered to stop if it states that it runs the request.
+ */
+const resumeStalled = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  silentMs: Millis,
+  context: RequestsContext,
+): Effects => {
+  switch (attempt.reportedRun?.kind) {
+    case 'running': {
+      const moved = transferAtOnce({ forwarding, attempt }, context);
+      if (moved === null) return continueElsewhere(forwarding, attempt, context);
+      return [describeSilence(forwarding, attempt, silentMs, 'moved'), ...moved];
+    }
+    case 'not-stated':
+      return [describeSilence(forwarding, attempt, silentMs, 'unverified')];
+    case 'not-running':
+    case 'unreachable':
+    case undefined:
+      return continueElsewhere(forwarding, attempt, context);
+    default:
+      return assertNever(attempt.reportedRun);
+  }
+};
+
 /**
  * Checks whether a stream has stalled, and continues it at another endpoint if one can. The silent
  * endpoint keeps its attempt until the continuation is under way: it may be sound and go on, whereas
@@ -105,12 +158,7 @@
   const isEnding = attempt.transfer !== null || attempt.failure !== null;
   // Before its first event, a request may be queued at the endpoint.
   if (attempt.events === 0 || isEnding || forwarding.attempts.size > 1) return [nextCheck];
-  const describe = (response: SilenceResponse): GatewayEffect =>
-    describeSilence(forwarding, attempt, silentMs, response);
-  const plan = planContinuation(forwarding, attempt, context);
-  if (plan === null) return [describe('no-endpoint'), nextCheck];
-  if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent'), nextCheck];
-  return [describe('continued'), ...openContinuation(forwarding, plan, context), nextCheck];
+  return [...resumeStalled(forwarding, attempt, silentMs, context), nextCheck];
 };
 
 const toSilentEnd = (attempt: Attempt, { inputs }: RequestsContext): AttemptEnd => {
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -138,6 +138,25 @@
   return transfer?.phase === 'waiting' ? startCopy(next, transfer, context) : [];
 };
 
+/**
+ * Stops a generation by an order on a new connection, and lets it resume from its memory elsewhere.
+ * Unlike the close of the attempt's connection, the order is answered once the run has stopped.
+ *
+ * @param run - generation whose connection fell silent
+ * @param context - state and inputs
+ * @returns effects; null without an endpoint that can take the memory
+ */
+export const transferAtOnce = (
+  run: RunningGeneration,
+  context: RequestsContext,
+): Effects | null => {
+  const { attempt, forwarding } = run;
+  const target = chooseTransferTarget(forwarding, attempt, context);
+  if (target === null) return null;
+  attempt.transfer = { phase: 'stopping', target, tries: 1 };
+  return [orderTransfer(run, target, 'stop'), describeTransfer(run, 'stopping', target)];
+};
+
 /** Ends a transfer, so that the next one from the same endpoint can start. */
 const endTransfer = ({ attempt }: RunningGeneration): Effects => {
   attempt.transfer = null;
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,6 +1,6 @@
 import type { CopyLocation } from './generationCopy.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
-import type { AnswerHead, LiveSettings } from '../types.js';
+import type { AnswerHead, LiveSettings, RunState } from '../types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
@@ -68,6 +68,8 @@
   bytes: number;
   splitter: SplitterState;
   lastEventAt: Millis;
+  /** Newest answer of the engine about this run; null since the newest event arrived. */
+  reportedRun: RunState | null;
   transfer: Transfer | null;
   /** Copy of the generation that a transfer made; null without one. */
   copy: TransferredCopy | null;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -173,13 +173,35 @@
   readonly mode: 'copy' | 'stop';
 }
 
-/** State that an engine reports about itself. */
-export interface EngineReport {
+/** What an engine's report says about the requests that it runs. */
+export type ReportedRuns =
+  | { readonly kind: 'stated'; readonly eventsByRequest: ReadonlyMap<string, number> }
+  | { readonly kind: 'not-stated' };
+
+/** Whether an engine is about to leave, as it or a peer reports. */
+export interface PhaseReport {
   readonly phase: 'ready' | 'leaving';
 }
 
+/** State that an engine reports about itself. */
+export interface EngineReport extends PhaseReport {
+  readonly runs: ReportedRuns;
+}
+
+/** What an engine says on a new connection about the run of one request. */
+export type RunState =
+  /** The engine did not answer, so nothing is known of its runs. */
+  | { readonly kind: 'unreachable' }
+  /** The report does not say what the engine runs. */
+  | { readonly kind: 'not-stated' }
+  /** The run has ended, waits for its first token or was preempted. */
+  | { readonly kind: 'not-running' }
+  /** The run has made this number of events, as of some hundred milliseconds ago. */
+  | { readonly kind: 'running'; readonly events: number };
+
 /** Control commands to engines. */
 export interface EngineControl {
+  /** Reads the report of an engine on a new connection; null without a usable answer. */
   readonly readReport: (address: EndpointAddress) => Promise<EngineReport | null>;
   readonly transfer: (order: TransferOrder) => Promise<TransferResult>;
   /** Frees a copy. Nothing waits for the result, since a copy that is not freed expires. */
--- a/packages/soak/linkProxy.test.ts
+++ b/packages/soak/linkProxy.test.ts
@@ -30,6 +30,41 @@
   return { proxy, call, countRequests: () => requestCount };
 };
 
+// Guards against tests of silent connections in which the peer still learns that one was closed.
+test('open connections fall silent, ends included, and new ones work', async (t) => {
+  const ended: string[] = [];
+  const server = createTcpServer((socket) => {
+    socket.on('data', () => socket.write('a'));
+    socket.on('error', () => ended.push('error'));
+    socket.on('close', () => ended.push('close'));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const proxy = await startLinkProxy({ host: '127.0.0.1', port }, '127.0.0.1');
+  t.teardown(() => {
+    proxy.close();
+    server.close();
+  });
+  const open = async () => {
+    const socket = connect(proxy.address);
+    socket.on('error', () => undefined);
+    socket.write('x');
+    await new Promise((resolve) => socket.once('data', resolve));
+    return socket;
+  };
+  const silent = await open();
+  proxy.silenceOpen();
+  const received: Buffer[] = [];
+  silent.on('data', (bytes) => received.push(bytes));
+  silent.write('y');
+  silent.resetAndDestroy();
+  await open();
+  await sleep(50);
+  t.deepEqual({ ended, received }, { ended: [], received: [] });
+});
+
 // Guards against a soak whose link faults have no effect.
 test('each link mode has its effect on requests', async (t) => {
   const { call, countRequests, proxy } = await startProxiedServer(t);
--- a/packages/soak/linkProxy.ts
+++ b/packages/soak/linkProxy.ts
@@ -19,6 +19,8 @@
   readonly setMode: (mode: LinkMode) => void;
   /** Delivers no answer for the duration, and then all that were held back. */
   readonly holdAnswers: (durationMs: Millis) => void;
+  /** Lets all open connections fall silent for good, without a reset; new ones work. */
+  readonly silenceOpen: () => void;
   /** Applies to new connections only. */
   readonly setTarget: (target: LinkAddress) => void;
   readonly close: () => void;
@@ -125,6 +127,9 @@
     holdAnswers: (durationMs) => {
       released = Promise.all([released, sleep(durationMs)]);
     },
+    silenceOpen: () => {
+      for (const socket of openSockets) silencedSockets.add(socket);
+    },
     setTarget: (next) => {
       target = next;
     },
