Give each answer to a caller a length or chunks

Seen: a gateway is killed while it passes on a stream without a length.

Cause: the missing framing of the worker's answer was passed on, so that only a reset by the living process told a part from the whole. The operating system ends the connections of a killed process in order.

Change: whole answers get a length, streams get chunks; the length and the last chunk are written only after the worker's connection has ended in order. Streams to callers of HTTP/1.0 are held and sent with a length. The resets of unfinished answers are removed.

Why this works: the end of an answer is a statement of its own, which a process that ends early cannot make.

--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -34,39 +34,34 @@
   readonly closeAfterAnswers: (socket: Duplex, close: () => void) => void;
   /** Refuses all requests after the loss of their state. */
   readonly refuseAll: (failure: Failure) => void;
-  /** Breaks the answers that would look complete when their connections are closed. */
-  readonly breakUnframed: () => void;
   /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
   readonly reportUnreadable: (error: Error) => void;
 }
 
-/**
- * Delimits an answer by the close of its connection, as the endpoint did. Whether such an answer is
- * complete is unknown, and chunked framing or a length would state that it is.
- */
-const clearFraming = (response: ServerResponse): void => {
-  response.shouldKeepAlive = false;
-  response.removeHeader('Transfer-Encoding');
-};
-
-/**
- * Closes the connection of an answer that has begun and is not complete. An answer that ends with
- * its connection, as all streams to callers of HTTP/1.0 do, looks complete unless the connection is
- * reset.
- */
-const closeUnfinished = (response: ServerResponse): void => {
-  if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy();
-  response.destroy();
-};
+/** Answer to a caller of HTTP/1.0, which can only be sent with a length. */
+interface HeldAnswer {
+  readonly head: AnswerHead;
+  readonly chunks: Uint8Array[];
+  bytes: number;
+}
 
 interface OpenAnswer {
   readonly requestId: string;
   readonly response: ServerResponse;
 }
 
+const holdBytes = (answer: HeldAnswer, bytes: Uint8Array): 'written' | 'too-slow' => {
+  answer.chunks.push(bytes);
+  answer.bytes += bytes.length;
+  return answer.bytes > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
+};
+
 /**
- * Creates the table of open answers.
+ * Creates the table of open answers. Each answer with a body has a length or chunks, also when that of
+ * its endpoint ends with its connection: whoever ends the connection to the caller early, as the
+ * operating system does for a killed process, cannot make it look complete. Callers of HTTP/1.0 do not
+ * know chunks, so a stream to them is held until it is complete.
  *
  * @param connections - records the writes, and why connections are closed
  * @param onUnreadable - receives errors of connections whose bytes are not a valid request
@@ -78,22 +73,14 @@
 ): Responders => {
   const open = new Map<number, OpenAnswer>();
   const queues = createAnswerQueues();
-  /** Answers that end with their connections, and of which not all bytes were sent. */
-  const unframed = new Set<ServerResponse>();
+  /** Started answers that are sent once they are complete. */
+  const held = new Map<number, HeldAnswer>();
   let phase: 'serving' | 'draining' = 'serving';
 
-  const trackUnframed = (response: ServerResponse): void => {
-    unframed.add(response);
-    const remove = (): void => {
-      unframed.delete(response);
-    };
-    response.once('finish', remove);
-    response.once('close', remove);
-  };
-
   const removeAnswer = (key: number): OpenAnswer | undefined => {
     const answer = open.get(key);
     open.delete(key);
+    held.delete(key);
     return answer;
   };
 
@@ -112,13 +99,8 @@
     if (response === undefined) return;
     connections.recordWrite(key);
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
-    const isFramed = hasBody && head.framing === 'framed';
-    const length = isFramed ? ['Content-Length', body.length.toString()] : [];
+    const length = hasBody ? ['Content-Length', body.length.toString()] : [];
     response.sendDate = false;
-    if (hasBody && !isFramed) {
-      clearFraming(response);
-      trackUnframed(response);
-    }
     response.writeHead(head.status, buildHeaders(response, [...head.headers, ...length]));
     response.end(hasBody ? body : undefined);
     // An answer that could not be sent stays open, so that it can be broken off.
@@ -132,7 +114,7 @@
     if (response.headersSent) {
       open.delete(key);
       connections.recordCause(key, cause);
-      closeUnfinished(response);
+      response.destroy();
       return;
     }
     connections.recordWrite(key);
@@ -161,7 +143,7 @@
     const answer = removeAnswer(key);
     if (answer === undefined) return;
     connections.recordCause(key, cause);
-    closeUnfinished(answer.response);
+    answer.response.destroy();
   };
 
   return {
@@ -176,26 +158,33 @@
     },
     count: () => open.size,
     remove: (key) => {
-      open.delete(key);
+      removeAnswer(key);
     },
     startAnswer: (key, head) => {
       const response = open.get(key)?.response;
       if (response === undefined) return;
+      if (!response.useChunkedEncodingByDefault) {
+        held.set(key, { head, chunks: [], bytes: 0 });
+        return;
+      }
       connections.recordWrite(key);
       response.sendDate = false;
-      if (head.framing === 'until-close') clearFraming(response);
       response.writeHead(head.status, buildHeaders(response, head.headers));
-      if (!response.chunkedEncoding) trackUnframed(response);
     },
     writeAnswer: (key, bytes) => {
       const response = open.get(key)?.response;
       if (response === undefined) return 'written';
+      const answer = held.get(key);
+      if (answer !== undefined) return holdBytes(answer, bytes);
       connections.recordWrite(key);
       response.write(bytes);
       return response.writableLength > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
     },
     endAnswer: (key) => {
-      removeAnswer(key)?.response.end();
+      const answer = held.get(key);
+      held.delete(key);
+      if (answer === undefined) removeAnswer(key)?.response.end();
+      else sendWhole(key, answer.head, Buffer.concat(answer.chunks));
     },
     sendWhole,
     refuse: (key, failure) => {
@@ -206,9 +195,6 @@
     refuseAll: (failure) => {
       for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
     },
-    breakUnframed: () => {
-      for (const response of [...unframed]) closeUnfinished(response);
-    },
     startDrain: () => {
       phase = 'draining';
     },
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -91,7 +91,6 @@
     daemon.stop();
     cradle.endpoints.close();
     ports.feeds.close();
-    responders.breakUnframed();
     callers.close();
     readinessServer.close();
     metricsServer.close();
