Repeat an overdue read of the store on a new connection

Cause: a connection without an answer was taken for a store without one. The read was given up after 2.2 s and repeated after a pause, on an idle connection as old and as silent as the one that failed. The log had the same line for a silent connection and an outage.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -326,6 +326,11 @@
     level: 'warn',
     text: 'The store answers from another copy of its records, which may lack the latest ones.',
   },
+  'connection-replaced': {
+    number: 3025,
+    level: 'info',
+    text: 'The store answered a read on a new connection, since the first one failed or was silent.',
+  },
   'transfer-step': {
     number: 5008,
     level: 'info',
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -51,7 +51,7 @@
 
 const REGISTERED: RecordChange = { kind: 'endpoint-registered', record: buildEndpoint('e-1') };
 const REMOVED: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
-const FAILED: FeedResult = { kind: 'failed', message: 'down' };
+const FAILED: FeedResult = { kind: 'failed', message: 'down', triedMs: 0 };
 
 const findLine = (effects: readonly GatewayEffect[], name: string) =>
   effects
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -135,6 +135,18 @@
         },
       ];
 
+const describeReplaced = (
+  feed: FeedName,
+  state: FeedState,
+  { replaced }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
+  now: Millis,
+): GatewayEffect[] => {
+  if (replaced === undefined) return [];
+  const sentAt = state.kind === 'following' ? state.sentAt : state.loadSentAt;
+  const data = { feed, reason: replaced, afterMs: Math.round(now - sentAt) };
+  return [{ kind: 'log', name: 'connection-replaced', details: { data } }];
+};
+
 const publishRestore = (
   feed: FeedName,
   before: FeedPosition,
@@ -216,10 +228,11 @@
 const applyRecords = (
   feed: FeedName,
   state: FeedState,
-  { changes, position }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
+  result: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
   scope: ReadScope,
   context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
+  const { changes, position } = result;
   const { newest, now } = context;
   const isUncertain = state.failingSince !== null || scope === 'restored';
   const uncertainUntil = isUncertain ? now + REREGISTRATION_GRACE_MS : state.uncertainUntil;
@@ -242,6 +255,7 @@
   return {
     state: sent.state,
     effects: [
+      ...describeReplaced(feed, state, result, now),
       ...describeRecovery(feed, state, now),
       ...(scope === 'restored' && before !== null ? publishRestore(feed, before, position) : []),
       ...publishChanges(feed, changes, { scope, removals, epoch: position.epoch }),
--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -81,8 +81,8 @@
   t.deepEqual(
     posted.map((event) => ('result' in event ? { kind: event.kind, result: event.result } : event)),
     [
-      { kind: 'feed-answered', result: { kind: 'failed', message: 'a defect' } },
-      { kind: 'feed-answered', result: { kind: 'failed', message: 'a defect' } },
+      { kind: 'feed-answered', result: { kind: 'failed', message: 'a defect', triedMs: 0 } },
+      { kind: 'feed-answered', result: { kind: 'failed', message: 'a defect', triedMs: 0 } },
       { kind: 'transfer-ended', result: { kind: 'failed', message: 'a defect' } },
       { kind: 'quarantines-loaded', result: { kind: 'failed', message: 'a defect' } },
       { to: 'quarantine', kind: 'save-due', fingerprint: 'f' },
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -83,7 +83,7 @@
     kind,
     pending,
     adapters,
-    (message) => ({ kind: 'failed', message }),
+    (message) => ({ kind: 'failed', message, triedMs: 0 }),
     (result) => {
       adapters.loop().post({ to: 'feeds', kind: 'feed-answered', feed, from, result });
     },
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -103,23 +103,28 @@
   readonly offset: number;
 }
 
+/** Where the answer to a read of a feed came from. */
+interface FeedAnswer {
+  readonly changes: readonly RecordChange[];
+  /** Position after the changes, in the epoch of the answer. */
+  readonly position: FeedPosition;
+  /** Why the first connection was given up, if the answer came on a second one. */
+  readonly replaced?: string;
+}
+
 /** Result of reading a feed. */
 export type FeedResult =
-  | {
-      /** All current records; records that are missing from `changes` no longer exist. */
-      readonly kind: 'loaded';
-      readonly changes: readonly RecordChange[];
-      readonly position: FeedPosition;
-    }
-  | {
-      readonly kind: 'read';
-      readonly changes: readonly RecordChange[];
-      /** Position after the changes, in the epoch of the answer. */
-      readonly position: FeedPosition;
-    }
+  /** All current records; records that are missing from `changes` no longer exist. */
+  | ({ readonly kind: 'loaded' } & FeedAnswer)
+  | ({ readonly kind: 'read' } & FeedAnswer)
   /** The store does not have the records after the position. */
   | { readonly kind: 'expired'; readonly epoch: StoreEpoch }
-  | { readonly kind: 'failed'; readonly message: string };
+  | {
+      readonly kind: 'failed';
+      readonly message: string;
+      /** Time since the newest connection was opened on which the store did not answer. */
+      readonly triedMs: Millis;
+    };
 
 /** Reads the feeds; a failed read is a result too. */
 export interface FeedReader {
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { MAX_RESPONSE_BYTES } from './constants.js';
+import { MAX_IDLE_MS, MAX_RESPONSE_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { reportResets } from '../../core/http/connectionResets.js';
@@ -33,6 +33,10 @@
   /** Time for which the service may delay its response, in addition to the timeout. */
   readonly waitMs?: Millis;
   readonly signal?: AbortSignal | undefined;
+  /** `new` opens a connection for this request only; `shared` if not given. */
+  readonly connection?: 'shared' | 'new';
+  /** Replaces the timeout of the client, as for a request that repeats another one. */
+  readonly timeoutMs?: Millis;
 }
 
 /** HTTP client of one service of the platform. */
@@ -90,23 +94,24 @@
 
 /**
  * Creates an HTTP client of one service of the platform. A connection whose response times out is
- * closed, since it may be broken.
+ * closed, since it may be broken. Idle connections are kept for `MAX_IDLE_MS` only, as they fall silent
+ * together with it.
  *
  * @param options - base URL and timeout
  * @returns the client, which never throws for a failure of the service or the network
  */
 export const createHttpClient = (options: ClientOptions): HttpClient => {
-  const agent = new Agent({ keepAlive: true });
+  const agent = new Agent({ keepAlive: true, timeout: MAX_IDLE_MS });
   const serviceUrl = new URL(options.baseUrl);
 
   const sendRequest = (outgoing: HttpRequest): Promise<Result<HttpResponse, RequestError>> =>
     new Promise((resolve) => {
-      const { method, path, signal, waitMs = 0 } = outgoing;
+      const { method, path, signal, waitMs = 0, timeoutMs = options.timeoutMs } = outgoing;
       const body = encodeBody(outgoing);
       let connection: 'none' | 'established' = 'none';
       let phase: 'pending' | 'settled' = 'pending';
       const client = openRequest({
-        agent,
+        agent: outgoing.connection === 'new' ? false : agent,
         host: serviceUrl.hostname,
         port: serviceUrl.port,
         method,
@@ -119,7 +124,7 @@
         runAfterReads(() => {
           if (phase === 'pending') client.destroy(new Error('the response timed out'));
         });
-      }, options.timeoutMs + waitMs);
+      }, timeoutMs + waitMs);
       const settle = (): void => {
         phase = 'settled';
         clearTimeout(timeout);
