End the time in which removals are uncertain with that after a disruption

Cause: a read after a failed one counted as the end of an outage of the store, in which registrations expire although their workers run. A removal was then not believed for 2.5 s, and one that was read within this time for another 2.5 s, both counted from what this gateway noticed.

Change: with the read that is repeated on a new connection, a silent or reset connection is no outage any more. After an outage, removals are uncertain until 2.5 s after the first answer or until the time after a disruption has passed since the newest failed connection was opened, whichever is first, and all are due then. Failing reads are sent without a wait. The state of the feeds and its log lines move to modules of their own.

--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
 import { createFeedsLogic, isFeedStale } from './feeds.js';
-import type { FeedsState } from './feeds.js';
+import type { FeedsState } from './feedState.js';
 import { computeResumptionLimits } from './pacing.js';
 import type { PacingInputs } from './pacing.js';
 import { createVirtualClock } from '../../core/clock.js';
@@ -114,14 +114,19 @@
   });
   const lost = harness.answer('registrations', FAILED);
   t.true(lost.some((effect) => effect.kind === 'log' && effect.name === 'log-unavailable'));
+  harness.clock.advance(4_000);
   t.false(harness.answer('registrations', FAILED).some(({ kind }) => kind === 'log'));
-  harness.clock.advance(5_000);
+  harness.clock.advance(1_000);
   const back = harness.answer('registrations', {
     kind: 'read',
     changes: [REMOVED],
     position: toPosition(5),
   });
-  t.deepEqual(findRegistrations(back)[0]?.removals, { kind: 'uncertain', since: 6_000 });
+  t.deepEqual(findRegistrations(back)[0]?.removals, {
+    kind: 'uncertain',
+    since: 6_000,
+    until: 8_000,
+  });
   t.true(back.some((effect) => effect.kind === 'log' && effect.name === 'log-available'));
   harness.clock.advance(REREGISTRATION_GRACE_MS);
   const later = harness.answer('registrations', {
@@ -132,6 +137,51 @@
   t.deepEqual(findRegistrations(later)[0]?.removals, { kind: 'certain' });
 });
 
+// Guards against requests to a removed endpoint later than a while after a disruption of this daemon's
+// connections: until it noticed that the store answers again, much of that time may be over (review/4).
+test('removals are certain once the time after a disruption is over', (t) => {
+  const outageMs = 3_000;
+  for (const [triedMs, tryMs] of [
+    [0, 250],
+    [900, 250],
+    [900, 1_900],
+    [900, 2_200],
+  ] as const) {
+    const harness = createHarness();
+    const position = toPosition(4);
+    harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position });
+    harness.clock.advance(triedMs);
+    harness.answer('registrations', { ...FAILED, triedMs });
+    harness.clock.advance(tryMs);
+    const read: FeedResult = { kind: 'read', changes: [REMOVED], position };
+    const [event] = findRegistrations(harness.answer('registrations', read));
+    const until = event?.removals.kind === 'uncertain' ? event.removals.until : 0;
+    t.true(until <= 1_000 + outageMs, `${triedMs.toString()}, ${tryMs.toString()}`);
+    t.is(event?.removals.kind, triedMs + tryMs < outageMs ? 'uncertain' : 'certain');
+  }
+});
+
+// Guards against a long time to notice that the store answers again: its wait would be added to it.
+test('a read is not held by the store while the reads before failed', (t) => {
+  const harness = createHarness();
+  const position = toPosition(4);
+  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position });
+  harness.answer('registrations', FAILED);
+  t.like(harness.sendDue('registrations')[0], { kind: 'read-feed', waitMs: 0 });
+});
+
+// Guards against a silent connection that cannot be told from an outage in the logs.
+test('an answer on a second connection is logged and is no outage', (t) => {
+  const harness = createHarness();
+  const position = toPosition(4);
+  harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position });
+  const replaced = 'no answer in time';
+  const read: FeedResult = { kind: 'read', changes: [REMOVED], position, replaced };
+  const effects = harness.answer('registrations', read);
+  t.like(findLine(effects, 'connection-replaced'), { feed: 'registrations', reason: replaced });
+  t.deepEqual(findRegistrations(effects)[0]?.removals, { kind: 'certain' });
+});
+
 // Guards against sound endpoints that are dropped with certainty because the child was restarted in or
 // after an outage of the store, in which they could not register.
 test('removals stay uncertain when the child is restarted', (t) => {
@@ -140,14 +190,16 @@
     const position = toPosition(4);
     harness.answer('registrations', { kind: 'loaded', changes: [REGISTERED], position });
     harness.answer('registrations', FAILED);
-    harness.clock.advance(5_000);
+    harness.clock.advance(4_000);
+    harness.answer('registrations', FAILED);
+    harness.clock.advance(1_000);
     if (restart === 'after it') {
       harness.answer('registrations', { kind: 'read', changes: [], position });
     }
     harness.restart();
     const load: FeedResult = { kind: 'loaded', changes: [], position };
     const [event] = findRegistrations(harness.answer('registrations', load, null));
-    t.deepEqual(event?.removals, { kind: 'uncertain', since: 6_000 }, restart);
+    t.deepEqual(event?.removals, { kind: 'uncertain', since: 6_000, until: 8_000 }, restart);
     harness.clock.advance(REREGISTRATION_GRACE_MS);
     harness.restart();
     const [later] = findRegistrations(harness.answer('registrations', load, null));
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,9 +1,17 @@
-import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS, REREGISTRATION_GRACE_MS } from './constants.js';
+import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS } from './constants.js';
 import { publishChanges } from './changes.js';
 import type { ReadScope } from './changes.js';
+import {
+  describeRecovery,
+  describeReload,
+  describeReplaced,
+  publishRestore,
+} from './describeReads.js';
 import { compareEpochs, formatEpoch } from './epochs.js';
+import type { FeedsState, FeedState, NewestRead, NewestReads } from './feedState.js';
 import { computePause, computeWait } from './pacing.js';
 import type { PacingInputs } from './pacing.js';
+import { computeUncertainTime } from './uncertainTime.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { toStep } from '../../core/step.js';
@@ -19,41 +27,6 @@
   StoreEpoch,
 } from '../types.js';
 
-/** Progress of this daemon in one feed. */
-export type FeedState = {
-  readonly failingSince: Millis | null;
-  /**
-   * Removals read before this instant may only mean that the store was unavailable or restored.
-   */
-  readonly uncertainUntil: Millis;
-  /** Instant at which the newest load was sent. */
-  readonly loadSentAt: Millis;
-} & (
-  | { readonly kind: 'loading' }
-  | {
-      readonly kind: 'following';
-      readonly position: FeedPosition;
-      /** Instant of the newest answer. */
-      readonly readAt: Millis;
-      /** Instant at which the newest read was sent. */
-      readonly sentAt: Millis;
-    }
-);
-
-export type FeedsState = Readonly<Record<FeedName, FeedState>>;
-
-/** What a daemon has read of a feed. */
-export interface NewestRead extends Pick<FeedState, 'failingSince' | 'uncertainUntil'> {
-  /** Newest position whose records were applied; null before the first load. */
-  readonly position: FeedPosition | null;
-}
-
-/**
- * What was read of each feed. It outlives the state of the child, so that a restarted child still
- * recognizes a restored store, and knows that registrations may be missing from it.
- */
-export type NewestReads = Map<FeedName, NewestRead>;
-
 export interface FeedsInputs {
   readonly clock: Clock;
   /** Updated by this child only. */
@@ -85,7 +58,8 @@
         { kind: 'load-feed', feed },
       );
     case 'following': {
-      const waitMs = computeWait(feed, pacing);
+      // While the store does not answer, a wait would only delay the next try.
+      const waitMs = state.failingSince === null ? computeWait(feed, pacing) : 0;
       return toStep<FeedState, GatewayEffect>(
         { ...state, sentAt: now },
         { kind: 'read-feed', feed, position: state.position, waitMs },
@@ -124,60 +98,6 @@
   state.failingSince !== null ||
   now - state.readAt > computePause('registrations', pacing) + FEED_STALENESS_MARGIN_MS;
 
-const describeRecovery = (feed: FeedName, state: FeedState, now: Millis): GatewayEffect[] =>
-  state.failingSince === null
-    ? []
-    : [
-        {
-          kind: 'log',
-          name: 'log-available',
-          details: { data: { feed, awayMs: Math.round(now - state.failingSince) } },
-        },
-      ];
-
-const describeReplaced = (
-  feed: FeedName,
-  state: FeedState,
-  { replaced }: Extract<FeedResult, { kind: 'loaded' | 'read' }>,
-  now: Millis,
-): GatewayEffect[] => {
-  if (replaced === undefined) return [];
-  const sentAt = state.kind === 'following' ? state.sentAt : state.loadSentAt;
-  const data = { feed, reason: replaced, afterMs: Math.round(now - sentAt) };
-  return [{ kind: 'log', name: 'connection-replaced', details: { data } }];
-};
-
-const publishRestore = (
-  feed: FeedName,
-  before: FeedPosition,
-  after: FeedPosition,
-): GatewayEffect[] => [
-  { kind: 'count', name: 'gateway_store_restores_total', labels: { feed } },
-  { kind: 'post', event: { to: 'quarantine', kind: 'store-restored', epoch: after.epoch } },
-  {
-    kind: 'log',
-    name: 'store-restored',
-    details: {
-      data: {
-        feed,
-        epochBefore: formatEpoch(before.epoch),
-        offsetBefore: before.offset,
-        epoch: formatEpoch(after.epoch),
-        offset: after.offset,
-      },
-    },
-  },
-];
-
-const describeReload = (feed: FeedName, state: FeedState, epoch: StoreEpoch): GatewayEffect => {
-  const position: Readonly<Record<string, number | string>> =
-    state.kind === 'loading'
-      ? {}
-      : { epochBefore: formatEpoch(state.position.epoch), offsetBefore: state.position.offset };
-  const data = { feed, epoch: formatEpoch(epoch), ...position };
-  return { kind: 'log', name: 'feed-reloaded', details: { data } };
-};
-
 /** Loads a feed again; a store that expires each position it states must not be loaded all the time. */
 const restartFeed = (
   feed: FeedName,
@@ -185,8 +105,8 @@
   epoch: StoreEpoch,
   context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
-  const { failingSince, loadSentAt, uncertainUntil } = state;
-  const loading: FeedState = { kind: 'loading', failingSince, loadSentAt, uncertainUntil };
+  const { failingSince, lastFailedAt, loadSentAt, uncertain } = state;
+  const loading: FeedState = { kind: 'loading', failingSince, lastFailedAt, loadSentAt, uncertain };
   const sent = sendNextAt(feed, loading, loadSentAt + FEED_RETRY_MS, context);
   return { state: sent.state, effects: [describeReload(feed, state, epoch), ...sent.effects] };
 };
@@ -234,21 +154,20 @@
 ): Step<FeedState, GatewayEffect> => {
   const { changes, position } = result;
   const { newest, now } = context;
-  const isUncertain = state.failingSince !== null || scope === 'restored';
-  const uncertainUntil = isUncertain ? now + REREGISTRATION_GRACE_MS : state.uncertainUntil;
+  const { outageMs } = context.pacing.stalenessLimits;
+  const uncertain = computeUncertainTime(state, scope, now, outageMs);
   const removals: RemovalCertainty =
-    now < uncertainUntil
-      ? { kind: 'uncertain', since: uncertainUntil - REREGISTRATION_GRACE_MS }
-      : { kind: 'certain' };
+    now < uncertain.until ? { kind: 'uncertain', ...uncertain } : { kind: 'certain' };
   const before = getPosition(newest, feed);
   const next: FeedState = {
     kind: 'following',
     position,
     failingSince: null,
+    lastFailedAt: state.lastFailedAt,
     readAt: now,
     sentAt: now,
     loadSentAt: state.loadSentAt,
-    uncertainUntil,
+    uncertain,
   };
   const nextReadAt = computeNextReadAt(feed, state, changes, context);
   const sent = sendNextAt(feed, next, nextReadAt, context);
@@ -317,14 +236,15 @@
 const handleFailure = (
   feed: FeedName,
   state: FeedState,
-  message: string,
+  { message, triedMs }: Extract<FeedResult, { kind: 'failed' }>,
   now: Millis,
 ): Step<FeedState, GatewayEffect> => {
   const retry = scheduleRead(feed, FEED_RETRY_MS);
-  if (state.failingSince !== null) return toStep(state, retry);
+  const failed: FeedState = { ...state, lastFailedAt: now - triedMs };
+  if (state.failingSince !== null) return toStep(failed, retry);
   const readAt = state.kind === 'following' ? state.readAt : 0;
   const data = { feed, message, ageMs: readAt === 0 ? -1 : Math.round(now - readAt) };
-  return toStep<FeedState, GatewayEffect>({ ...state, failingSince: now }, retry, {
+  return toStep<FeedState, GatewayEffect>({ ...failed, failingSince: now }, retry, {
     kind: 'log',
     name: 'log-unavailable',
     details: { data },
@@ -345,22 +265,29 @@
     case 'expired':
       return restartFeed(feed, state, result.epoch, context);
     case 'failed':
-      return handleFailure(feed, state, result.message, context.now);
+      return handleFailure(feed, state, result, context.now);
     default:
       return assertNever(result);
   }
 };
 
 const startLoading = (feed: FeedName, newest: NewestReads, now: Millis): FeedState => {
-  const { failingSince = null, uncertainUntil = 0 } = newest.get(feed) ?? {};
-  return { kind: 'loading', failingSince, uncertainUntil, loadSentAt: now };
+  const known = newest.get(feed);
+  return {
+    kind: 'loading',
+    failingSince: known?.failingSince ?? null,
+    lastFailedAt: known?.lastFailedAt ?? 0,
+    uncertain: known?.uncertain ?? { since: 0, until: 0 },
+    loadSentAt: now,
+  };
 };
 
 const toNewestRead = (state: FeedState, before: FeedPosition | null): NewestRead => {
-  const { failingSince, uncertainUntil } = state;
+  const { failingSince, lastFailedAt, uncertain } = state;
   return {
     failingSince,
-    uncertainUntil,
+    lastFailedAt,
+    uncertain,
     position: state.kind === 'following' ? state.position : before,
   };
 };
--- a/packages/gateway/membership/constants.ts
+++ b/packages/gateway/membership/constants.ts
@@ -1,9 +1,6 @@
 /** Interval at which engines are polled for their state while the registrations may be stale. */
 export const REPORT_POLL_INTERVAL_MS = 300;
 
-/** Delay of an uncertain removal, in which the endpoint may renew its registration. */
-export const UNCERTAIN_REMOVAL_DELAY_MS = 2_500;
-
 /** Time for which a report that an engine leaves overrides a registration without that state. */
 export const LEAVING_REPORT_VALIDITY_MS = 2_500;
 
--- a/packages/gateway/membership/membership.test.ts
+++ b/packages/gateway/membership/membership.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
 import {
-  UNCERTAIN_REMOVAL_DELAY_MS,
   LEAVING_REPORT_VALIDITY_MS,
   MAX_DEPARTED_ENDPOINTS,
   MAX_GONE_INCARNATIONS,
@@ -15,7 +14,7 @@
 import type { RecordChange, RemovalCertainty } from '../types.js';
 
 const CERTAIN: RemovalCertainty = { kind: 'certain' };
-const UNCERTAIN: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+const UNCERTAIN: RemovalCertainty = { kind: 'uncertain', since: 1_000, until: 3_000 };
 
 const createHarness = (polled: readonly string[] = []) => {
   const clock = createVirtualClock(1_000);
@@ -71,11 +70,11 @@
   const harness = createHarness();
   harness.change([register('e-1'), register('e-2')]);
   const removal: RecordChange = { kind: 'endpoint-removed', id: 'e-1' };
-  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000, until: 3_000 };
   const [timer] = harness.change([removal], 'changed', uncertain);
   harness.change([{ ...removal, id: 'e-2' }], 'changed', uncertain);
   t.deepEqual(harness.list(), ['e-1', 'e-2']);
-  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, UNCERTAIN_REMOVAL_DELAY_MS);
+  t.is(timer?.kind === 'schedule' ? timer.delayMs : 0, 2_000);
   harness.change([register('e-2')]);
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-2', removedAt: 1_000 });
@@ -101,7 +100,7 @@
   const harness = createHarness();
   harness.clock.advance(500);
   harness.change([register('e-1')]);
-  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_200 };
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_200, until: 3_000 };
   const effects = harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   t.true(hasLeavingNotice(effects));
   t.deepEqual(harness.list(), []);
@@ -124,7 +123,7 @@
 test('an endpoint without a new registration is removed after the delay', (t) => {
   const harness = createHarness();
   harness.change([register('e-1')]);
-  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000 };
+  const uncertain: RemovalCertainty = { kind: 'uncertain', since: 1_000, until: 3_000 };
   harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', uncertain);
   const due = { to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 } as const;
   t.true(hasLeavingNotice(harness.post(due)));
@@ -308,7 +307,7 @@
   harness.change([register('e-1', { sequence: 7 })]);
   harness.change([], 'restored', UNCERTAIN);
   t.deepEqual(harness.list(), ['e-1']);
-  harness.clock.advance(UNCERTAIN_REMOVAL_DELAY_MS);
+  harness.clock.advance(2_000);
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
   t.deepEqual(harness.list(), []);
   harness.change([register('e-1', { sequence: 6 })]);
@@ -387,7 +386,7 @@
   const harness = createHarness();
   harness.change([register('e-1')]);
   harness.change([{ kind: 'endpoint-removed', id: 'e-1' }], 'changed', UNCERTAIN);
-  harness.clock.advance(UNCERTAIN_REMOVAL_DELAY_MS);
+  harness.clock.advance(2_000);
   harness.post({ to: 'membership', kind: 'removal-due', id: 'e-1', removedAt: 1_000 });
   t.like(findHolder(buildEndpoint('e-1'), harness.getState()), { leavingAt: 1_000 });
 });
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -1,5 +1,4 @@
 import {
-  UNCERTAIN_REMOVAL_DELAY_MS,
   LEAVING_REPORT_VALIDITY_MS,
   MAX_REMOVED_ENDPOINTS,
   REPORT_POLL_INTERVAL_MS,
@@ -221,10 +220,11 @@
   if (isRemovalCertain(known, removals)) return pruneEndpoint(state, known, 'certain', now);
   if (hasPendingRemoval(known, removals)) return [];
   endpoints.set(id, { ...known, removedAt: now });
+  const until = removals.kind === 'uncertain' ? removals.until : now;
   return [
     {
       kind: 'schedule',
-      delayMs: UNCERTAIN_REMOVAL_DELAY_MS,
+      delayMs: until - now,
       event: { to: 'membership', kind: 'removal-due', id, removedAt: now },
     },
   ];
--- a/packages/gateway/supervisor.ts
+++ b/packages/gateway/supervisor.ts
@@ -11,7 +11,7 @@
   QuarantineEvent,
   RequestsEvent,
 } from './events.js';
-import type { FeedsState } from './feeds/feeds.js';
+import type { FeedsState } from './feeds/feedState.js';
 import type { GateState } from './frontend/gate.js';
 import type { MembershipState } from './membership/membership.js';
 import type { MovesState } from './moves/moves.js';
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -85,9 +85,10 @@
   | { readonly kind: 'certain' }
   /**
    * The store was unavailable until `since`, so that registrations may have expired although their
-   * endpoints run. The removal of a registration that was renewed after `since` is certain.
+   * endpoints run; those that run renew them by `until`. The removal of a registration that was
+   * renewed after `since` is certain.
    */
-  | { readonly kind: 'uncertain'; readonly since: Millis };
+  | { readonly kind: 'uncertain'; readonly since: Millis; readonly until: Millis };
 
 /**
  * Number of the store's current copy of its records, which rises each time the store is restored
