Keep a daemon running when its log cannot be written

Seen: a gateway as a process of its own ends with exit code 1 at the next line after the reader of its log has ended (EPIPE), and does not start with its output on a full disk (ENOSPC).

Cause: an error of a standard stream without a listener ends the process.

Change: the errors of both standard streams are handled before anything is written, in the gateway and in the commands that run daemons. The test fixture that runs a gateway as a process moves to a module of its own.

Why this works: the log is not needed to serve; lines that cannot be written are lost, and the metrics go on.

--- a/app/serving.ts
+++ b/app/serving.ts
@@ -1,3 +1,5 @@
+import { handleOutputErrors } from '../packages/core/events/outputErrors.js';
+
 /** A running server: a daemon or a stand-in. */
 export interface RunningServer {
   /** Base URL of each interface, by name of the interface. */
@@ -55,6 +57,7 @@
   server: RunningServer,
   flags: ServingFlags,
 ): Promise<void> => {
+  handleOutputErrors([process.stdout, process.stderr]);
   const shutdown = waitForShutdown(flags['stop-with-input'] ? 'watched' : 'ignored', server.ended);
   process.stdout.write(
     flags.json ? `${JSON.stringify({ name, urls: server.urls })}\n` : formatUrls(name, server.urls),
--- /dev/null
+++ b/packages/soak/startProgram.ts
@@ -0,0 +1,18 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+
+/**
+ * Starts a program of Node.js as a process of its own. The caller has to end it.
+ *
+ * @param path - path of the program
+ * @param env - variables of its environment, beside the path of programs
+ * @returns the process, whose output nobody reads
+ */
+export const startProgram = (
+  path: string,
+  env: Readonly<Record<string, string>>,
+): ChildProcess & { readonly stdout: NonNullable<ChildProcess['stdout']> } =>
+  spawn(process.execPath, [path], {
+    env: { PATH: process.env['PATH'], ...env },
+    stdio: ['ignore', 'pipe', 'ignore'],
+  });
