Try an address again that is in use at the start of a gateway

Seen: a gateway that starts while another process holds one of its addresses ends with exit code 70.

Cause: each address was opened once, and any error ended the start, although the process before may still be ending.

Change: an address in use or not available is tried again every 100 ms for 5 s at most; other errors end the start at once. address-unavailable (1008).

Why this works: the operating system frees the addresses of a process once it has ended.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -346,6 +346,11 @@
     level: 'info',
     text: 'A daemon applied changed settings.',
   },
+  'address-unavailable': {
+    number: 1008,
+    level: 'warn',
+    text: 'An address of the daemon is in use or not set up yet; the daemon tries to open it again.',
+  },
   'effect-failed': {
     number: 4030,
     level: 'error',
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -1,6 +1,7 @@
 import { createStatusServer } from './frontend/statusServer.js';
 import type { StatusPage } from './frontend/statusServer.js';
 import type { GatewaySettings, HeadCodec } from './types.js';
+import { openAddress } from '../core/openAddress.js';
 import { wireGateway } from './wiring.js';
 import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
 
@@ -71,12 +72,17 @@
   const metricsServer = createStatusServer(createPageGetter(cradle, ports.codec), onPageError);
   // The supervisor tree starts before any address is open, since it handles the requests.
   daemon.start();
-  await peers.open();
-  await Promise.all([
-    callers.listen(settings.callers),
-    readinessServer.listen(settings.readiness),
-    metricsServer.listen(settings.metrics),
-  ]);
+  const onAddressRetry = ({ message }: Error): void => {
+    events.record('address-unavailable', { data: { error: message } });
+  };
+  await openAddress(peers.open, onAddressRetry);
+  await Promise.all(
+    [
+      () => callers.listen(settings.callers),
+      () => readinessServer.listen(settings.readiness),
+      () => metricsServer.listen(settings.metrics),
+    ].map((listen) => openAddress(listen, onAddressRetry)),
+  );
   const loadTimer = setTimeout(() => {
     metrics.load().catch(onPageError);
   }, METRICS_LOAD_DELAY_MS);
