Bound the answers to control calls and to calls of the store

Cause: the client's limit was that of the largest page of the log, for calls whose answers have some hundred bytes. Interim answers and the size field of a chunk had none.

Why this works: what is received is counted before it is kept, in one place for all calls to workers.

--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -1,7 +1,7 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
-import { MAX_INTERIM_ANSWERS, MAX_OVERHEAD_BYTES } from './constants.js';
+import { limitOverhead } from '../../core/http/answerLimits.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
@@ -90,7 +90,6 @@
     let phase: 'connecting' | 'connected' | 'sent' | 'ended' = 'connecting';
     let answer: IncomingMessage | null = null;
     let bodyBytes = 0;
-    let interimAnswers = 0;
 
     const finish = (event: RequestsEvent): void => {
       if (phase === 'ended') return;
@@ -144,10 +143,6 @@
     outgoing.on('socket', (socket) => {
       reportResets(socket);
       socket.setNoDelay(true);
-      socket.on('data', () => {
-        if (socket.bytesRead - 2 * bodyBytes > MAX_OVERHEAD_BYTES)
-          endGarbled('the answer has no end');
-      });
       socket.once('connect', () => {
         clearTimeout(connectTimer);
         if (phase !== 'connecting') return;
@@ -156,10 +151,7 @@
       });
     });
     outgoing.on('error', fail);
-    outgoing.on('information', () => {
-      interimAnswers += 1;
-      if (interimAnswers > MAX_INTERIM_ANSWERS) endGarbled('too many interim answers');
-    });
+    limitOverhead(outgoing, () => bodyBytes, endGarbled);
     outgoing.on('response', (incoming) => {
       answer = incoming;
       const fault =
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -2,9 +2,12 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { MAX_IDLE_MS, MAX_RESPONSE_BYTES } from './constants.js';
+import { createByteBudget } from './byteBudget.js';
+import type { ByteBudget } from './byteBudget.js';
+import { MAX_IDLE_MS, MAX_RESPONSE_BYTES, MAX_TOTAL_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
 import type { Millis } from '../../core/clock.js';
+import { limitOverhead } from '../../core/http/answerLimits.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 
@@ -60,20 +63,46 @@
   return Number.isNaN(at) ? undefined : Math.max(0, at - now);
 };
 
-const readResponse = async (response: IncomingMessage): Promise<HttpResponse> => {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of response as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > MAX_RESPONSE_BYTES) throw new Error('the response is too large');
-    chunks.push(chunk);
+/** Limits of the bodies of responses. */
+interface BodyLimits {
+  readonly maxBytes: number;
+  readonly budget: ByteBudget;
+}
+
+/** Body of a response while it is received. */
+interface ReceivedBody {
+  readonly chunks: Uint8Array[];
+  size: number;
+}
+
+const addChunk = (
+  body: ReceivedBody,
+  chunk: Uint8Array,
+  { budget, maxBytes }: BodyLimits,
+): void => {
+  if (body.size + chunk.length > maxBytes) throw new Error('the response is too large');
+  if (budget.take(chunk.length) === 'spent')
+    throw new Error('the responses that are being received are too large together');
+  body.size += chunk.length;
+  body.chunks.push(chunk);
+};
+
+const readResponse = async (
+  response: IncomingMessage,
+  body: ReceivedBody,
+  limits: BodyLimits,
+): Promise<HttpResponse> => {
+  try {
+    for await (const chunk of response as AsyncIterable<Uint8Array>) addChunk(body, chunk, limits);
+    return {
+      status: response.statusCode ?? 0,
+      headers: response.headers,
+      retryAfterMs: parseRetryAfter(response.headers['retry-after'], Date.now()),
+      body: Buffer.concat(body.chunks),
+    };
+  } finally {
+    limits.budget.release(body.size);
   }
-  return {
-    status: response.statusCode ?? 0,
-    headers: response.headers,
-    retryAfterMs: parseRetryAfter(response.headers['retry-after'], Date.now()),
-    body: Buffer.concat(chunks),
-  };
 };
 
 interface EncodedBody {
@@ -103,11 +132,16 @@
 export const createHttpClient = (options: ClientOptions): HttpClient => {
   const agent = new Agent({ keepAlive: true, timeout: MAX_IDLE_MS });
   const serviceUrl = new URL(options.baseUrl);
+  const limits: BodyLimits = {
+    maxBytes: options.maxResponseBytes ?? MAX_RESPONSE_BYTES,
+    budget: options.budget ?? createByteBudget(MAX_TOTAL_BYTES),
+  };
 
   const sendRequest = (outgoing: HttpRequest): Promise<Result<HttpResponse, RequestError>> =>
     new Promise((resolve) => {
       const { method, path, signal, waitMs = 0, timeoutMs = options.timeoutMs } = outgoing;
       const body = encodeBody(outgoing);
+      const received: ReceivedBody = { chunks: [], size: 0 };
       let connection: 'none' | 'established' = 'none';
       let phase: 'pending' | 'settled' = 'pending';
       const client = openRequest({
@@ -134,6 +168,11 @@
         const message = error instanceof Error ? error.message : String(error);
         resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
       };
+      limitOverhead(
+        client,
+        () => received.size,
+        (message) => client.destroy(new Error(message)),
+      );
       client.on('socket', (socket) => {
         if (!socket.connecting) {
           connection = 'established';
@@ -146,10 +185,17 @@
       });
       client.on('error', fail);
       client.on('response', (response) => {
-        readResponse(response).then((read) => {
-          settle();
-          resolve(Ok(read));
-        }, fail);
+        readResponse(response, received, limits).then(
+          (read) => {
+            settle();
+            resolve(Ok(read));
+          },
+          (error: unknown) => {
+            fail(error);
+            // Nothing else would end a response that is too large.
+            client.destroy();
+          },
+        );
       });
       client.end(body?.bytes);
     });
--- a/packages/platform/client/types.ts
+++ b/packages/platform/client/types.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'ts-results-es';
+import type { ByteBudget } from './byteBudget.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
 import type { Failure } from '../../core/verdict.js';
@@ -9,6 +10,10 @@
   readonly baseUrl: string;
   /** Timeout of one request; the wait of a long poll is added to it. */
   readonly timeoutMs: Millis;
+  /** Limit of the body of one response; `MAX_RESPONSE_BYTES` if not given. */
+  readonly maxResponseBytes?: number;
+  /** Limit of all bodies that are being received; `MAX_TOTAL_BYTES` of its own if not given. */
+  readonly budget?: ByteBudget;
 }
 
 /** One record of a stream as the log returns it; its body has not been validated. */
