Count the bodies of requests until their requests have ended

Cause: only bodies that were still being received counted against a limit, whereas a whole one is kept for retries until its request ends, and for a while twice. The limit did not depend on the memory of the machine.

The reading of bodies is a module of its own.

Why this works: what is refused is refused as not run before it is passed on.

--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -19,6 +19,9 @@
 
 const HOST = '127.0.0.1';
 
+/** Limit of the bytes of all buffered bodies. */
+export const MAX_BUFFERED_BODY_BYTES = 100_000;
+
 export const ANSWER_HEAD: AnswerHead = {
   status: 200,
   headers: [],
@@ -206,6 +209,7 @@
     responders,
     connections,
     headerCheckMs: 10,
+    maxBufferedBodyBytes: MAX_BUFFERED_BODY_BYTES,
     postArrival: (request) => {
       requests.add(request);
       return 'queued';
--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -19,6 +19,7 @@
     codec: CODEC,
     clock: { now: () => 0 },
     connections,
+    maxBufferedBodyBytes: 1_000,
     responders: createResponders(connections, () => undefined),
     postArrival: () => 'queued',
     postDisconnect: () => undefined,
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,13 +1,9 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { ConnectionTracker } from './connections.js';
-import {
-  DEFAULT_MAX_BODY_BYTES,
-  LISTEN_BACKLOG,
-  MAX_HEADER_BYTES,
-  MAX_BUFFERED_BODY_BYTES,
-} from './constants.js';
+import { DEFAULT_MAX_BODY_BYTES, LISTEN_BACKLOG, MAX_HEADER_BYTES } from './constants.js';
 import { createIdleConnections } from './idleConnections.js';
+import { createRequestBodies } from './requestBodies.js';
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
@@ -24,6 +20,8 @@
   readonly connections: ConnectionTracker;
   /** Interval of checking the header timeout; that of the HTTP server by default. */
   readonly headerCheckMs?: Millis;
+  /** Limit of the bytes of all bodies of requests that have not ended; further ones are refused. */
+  readonly maxBufferedBodyBytes: number;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
   /** Receives an unexpected error, which ends one request. */
@@ -41,50 +39,6 @@
   readonly close: () => void;
 }
 
-type BodyResult =
-  | { readonly kind: 'whole'; readonly body: Uint8Array }
-  | { readonly kind: 'too-large' }
-  | { readonly kind: 'no-room' }
-  | { readonly kind: 'broken' };
-
-/**
- * Buffered bytes of the bodies that all requests of the server are receiving, and the size limit.
- */
-interface BodyBuffers {
-  bufferedBytes: number;
-  maxBodyBytes: number;
-}
-
-const readBody = (incoming: IncomingMessage, buffers: BodyBuffers): Promise<BodyResult> =>
-  new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
-    const settle = (result: BodyResult): void => {
-      buffers.bufferedBytes -= size;
-      size = 0;
-      incoming.removeAllListeners('data');
-      resolve(result);
-    };
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      buffers.bufferedBytes += chunk.length;
-      if (size > buffers.maxBodyBytes) settle({ kind: 'too-large' });
-      else if (buffers.bufferedBytes > MAX_BUFFERED_BODY_BYTES) settle({ kind: 'no-room' });
-      else chunks.push(chunk);
-    });
-    incoming.on('end', () => {
-      settle({
-        kind: 'whole',
-        body: chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks),
-      });
-    });
-    incoming.on('close', () => {
-      settle({ kind: 'broken' });
-    });
-    // `close` handles the end of the connection; an error without a listener would end the process.
-    incoming.on('error', () => undefined);
-  });
-
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 const INVALID_HEAD = createFailure(
@@ -124,7 +78,7 @@
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { codec, clock, connections, responders } = options;
-  const buffers: BodyBuffers = { bufferedBytes: 0, maxBodyBytes: DEFAULT_MAX_BODY_BYTES };
+  const bodies = createRequestBodies(options.maxBufferedBodyBytes, DEFAULT_MAX_BODY_BYTES);
   const idleConnections = createIdleConnections(connections.recordIdleClose);
   let nextKey = 1;
 
@@ -147,7 +101,7 @@
       responders.refuse(key, INVALID_HEAD);
       return;
     }
-    const result = await readBody(incoming, buffers);
+    const result = await bodies.read(incoming);
     switch (result.kind) {
       case 'broken':
         responders.remove(key);
@@ -161,6 +115,8 @@
       case 'whole':
         break;
     }
+    if (response.closed) result.release();
+    else response.once('close', result.release);
     if (responders.isBehindLast(key)) {
       // It cannot be answered. Its caller knows from the answer before that it is not handled.
       responders.remove(key);
@@ -216,7 +172,7 @@
     applyLimits: (idleTimeoutMs, headerTimeoutMs, maxBodyBytes) => {
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
-      buffers.maxBodyBytes = maxBodyBytes;
+      bodies.setMaxBodyBytes(maxBodyBytes);
       connections.recordConfiguration(idleTimeoutMs);
     },
     closeIdle: () => {
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -25,8 +25,11 @@
 /** Body size limit until the first configuration is loaded. */
 export const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Limit of the bytes of partly received request bodies; requests beyond it are refused. */
-export const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
+/**
+ * Share of the machine's memory for the bodies of requests that have not ended. A daemon without them
+ * takes about 95 MB; the rest is for answers, and for bodies that are not collected yet.
+ */
+export const BODY_MEMORY_SHARE = 0.28;
 
 /** Limit of the bytes that one caller has not read yet; its connection is closed above it. */
 export const MAX_CALLER_BACKLOG_BYTES = 2 * 1024 * 1024;
--- /dev/null
+++ b/packages/gateway/frontend/requestBodies.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava';
+import {
+  formatRequest,
+  MAX_BUFFERED_BODY_BYTES,
+  startCallerServer,
+} from './callerServer.fixture.js';
+
+const LARGE_BODY = 'a'.repeat(MAX_BUFFERED_BODY_BYTES * 0.6);
+
+const CHUNKED = 'POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+// Guards against a daemon that exceeds its memory by the bodies of requests that it has passed on and
+// that have not ended (review/5).
+test('a whole body counts as buffered until its request has ended', async (t) => {
+  const server = await startCallerServer(t);
+  const first = server.openCaller();
+  first.send(formatRequest('a', LARGE_BODY));
+  const { key } = await server.waitForRequest('a');
+  const second = server.openCaller();
+  second.send(formatRequest('b', LARGE_BODY));
+  await second.waitForText('overloaded');
+  const failure = { verdict: 'not-run', code: 'no-endpoint', message: 'none' } as const;
+  server.perform({ kind: 'refuse', key, failure });
+  await first.waitForText('no-endpoint');
+  const third = server.openCaller();
+  third.send(formatRequest('c', LARGE_BODY));
+  t.is((await server.waitForRequest('c')).body.length, LARGE_BODY.length);
+});
+
+// Guards against bytes that stay counted for callers that have left, until all requests are refused.
+test('a body does not count after its caller has left', async (t) => {
+  const server = await startCallerServer(t);
+  const waitForEnds = async (count: number): Promise<void> => {
+    while (server.events.length < count) await new Promise(setImmediate);
+  };
+  for (const [index, id] of ['a', 'b', 'c'].entries()) {
+    const caller = server.openCaller();
+    caller.send(formatRequest(id, LARGE_BODY));
+    await server.waitForRequest(id);
+    caller.socket.destroy();
+    await waitForEnds(index + 1);
+  }
+  const partial = server.openCaller();
+  partial.send(formatRequest('d', LARGE_BODY, LARGE_BODY.length + 1));
+  partial.socket.destroySoon();
+  await waitForEnds(4);
+  const last = server.openCaller();
+  last.send(formatRequest('e', LARGE_BODY));
+  t.is((await server.waitForRequest('e')).body.length, LARGE_BODY.length);
+});
+
+// Guards against a body that is altered when it is collected, with a length and with chunks.
+test('a body is passed on byte by byte', async (t) => {
+  const server = await startCallerServer(t);
+  const caller = server.openCaller();
+  caller.send('POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc');
+  await new Promise(setImmediate);
+  caller.send('def');
+  const sized = await server.waitForRequest('a');
+  t.is(Buffer.from(sized.body).toString(), 'abcdef');
+  const other = server.openCaller();
+  other.send(`${CHUNKED}3\r\nabc\r\n`);
+  await new Promise(setImmediate);
+  other.send('3\r\ndef\r\n0\r\n\r\n');
+  const chunked = await server.waitForRequest('b');
+  t.is(Buffer.from(chunked.body).toString(), 'abcdef');
+});
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -22,6 +22,8 @@
   readonly peers: EndpointAddress;
   readonly metrics: EndpointAddress;
   readonly store: StoreSettings;
+  /** Memory above which the platform kills the process. */
+  readonly memoryBytes: number;
   readonly live: LiveSettings;
 }
 
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -11,6 +11,7 @@
 import type { PacingInputs } from './feeds/pacing.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
+import { BODY_MEMORY_SHARE } from './frontend/constants.js';
 import { createConnectionTracker } from './frontend/connections.js';
 import type { ConnectionTracker } from './frontend/connections.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -152,6 +153,7 @@
     clock: cradle.clock,
     responders: cradle.responders,
     connections: cradle.connections,
+    maxBufferedBodyBytes: cradle.settings.memoryBytes * BODY_MEMORY_SHARE,
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
     postDisconnect: (key) => {
