Keep a stream at a reachable engine that cannot be told to stop

Cause: an engine that states that it runs a request was left for its backup at the stall timeout if no other engine could take the memory, which is needed for the order to stop.

Change: such a stream goes on elsewhere only before the time after a disruption ends, like that of an engine that does not state its runs, and stays otherwise.

Test: runChecks.test.ts, "a run that cannot be stopped is not continued elsewhere after the time of an outage".

--- a/packages/gateway/requests/runChecks.test.ts
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -137,6 +137,30 @@
   t.is(findEffect(effects, 'cancel-attempt'), undefined);
 });
 
+// Guards against two runs of a generation at an engine that goes on and cannot be told to stop, as no
+// other engine can take the memory.
+test('a run that cannot be stopped is not continued elsewhere after the time of an outage', (t) => {
+  const harness = createRequestsHarness();
+  harness.setRetries('spent');
+  const order = startStream(harness);
+  const backup = harness.endpoints.find(({ address }) => address === order.head.backup);
+  const others = harness.endpoints.filter(
+    ({ id, service }) => service === backup?.service && id !== order.head.endpointId,
+  );
+  for (const { id } of others) {
+    harness.endpoints.splice(
+      harness.endpoints.findIndex((record) => record.id === id),
+      1,
+    );
+    harness.holders.set(id, { kind: 'known', leavingAt: null, dataCentreOutAt: null });
+  }
+  const getRun = createAdvancingRun();
+  const inTime = waitSilently(harness, OUTAGE_MS, getRun);
+  t.is(findEffect(inTime, 'start-transfer'), undefined);
+  harness.setRetries('available');
+  t.deepEqual(findAttemptOrders(waitSilently(harness, OUTAGE_MS * 2, getRun)), []);
+});
+
 // Guards against a stream that is lost with an engine that cannot be reached.
 test('a stream goes on elsewhere when its engine does not answer', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -14,7 +14,7 @@
 import type { RunState } from '../types.js';
 
 /** What is done after the engine of a silent stream has answered about its run. */
-type RunCheckResponse = 'wait' | 'moved' | 'no-target' | 'continued';
+type RunCheckResponse = 'wait' | 'moved' | 'continued';
 
 const getStreamDelay = ({ inputs }: RequestsContext): Millis =>
   inputs.getLiveSettings().learnWithin.outageMs * RUN_CHECK_SHARE;
@@ -139,31 +139,45 @@
 const hasAdvanced = (before: RunState | null, run: RunState): boolean =>
   before?.kind === 'running' && run.kind === 'running' && run.events > before.events;
 
+interface RunCheckDecision {
+  readonly response: RunCheckResponse;
+  readonly effects: Effects;
+}
+
+const WAIT: RunCheckDecision = { response: 'wait', effects: [] };
+
+/** Continues the stream of an engine that may run on and cannot be told to stop, if there is time. */
+const continueUnverified = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): RunCheckDecision => {
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  if (attempt.events === 0 || !isUnverifiedContinuationAllowed(silentMs, context)) return WAIT;
+  return { response: 'continued', effects: continueElsewhere(forwarding, attempt, context) };
+};
+
 const decideResponse = (
   forwarding: Forwarding,
   attempt: Attempt,
   before: RunState | null,
   run: RunState,
   context: RequestsContext,
-): { readonly response: RunCheckResponse; readonly effects: Effects } => {
+): RunCheckDecision => {
   switch (run.kind) {
     case 'running': {
-      if (!hasAdvanced(before, run)) return { response: 'wait', effects: [] };
-      const moved = transferAtOnce({ forwarding, attempt }, context);
-      return moved === null
-        ? { response: 'no-target', effects: [] }
-        : { response: 'moved', effects: moved };
-    }
-    case 'not-stated': {
-      const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
-      if (attempt.events === 0 || !isUnverifiedContinuationAllowed(silentMs, context))
-        return { response: 'wait', effects: [] };
-      return { response: 'continued', effects: continueElsewhere(forwarding, attempt, context) };
+      if (!hasAdvanced(before, run)) return WAIT;
+      const effects = transferAtOnce({ forwarding, attempt }, context);
+      return effects === null
+        ? continueUnverified(forwarding, attempt, context)
+        : { response: 'moved', effects };
     }
+    case 'not-stated':
+      return continueUnverified(forwarding, attempt, context);
     case 'unreachable':
     case 'not-running':
       // The stall check continues the stream elsewhere in time.
-      return { response: 'wait', effects: [] };
+      return WAIT;
     default:
       return assertNever(run);
   }
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -109,7 +109,8 @@
 
 /**
  * Lets a stalled stream go on elsewhere. An endpoint that can be reached may work on without noticing
- * the close of its connection, so it is ordered to stop if it states that it runs the request.
+ * the close of its connection, so it is ordered to stop if it states that it runs the request. It keeps
+ * a stream that it cannot be ordered to stop.
  */
 const resumeStalled = (
   forwarding: Forwarding,
@@ -120,8 +121,9 @@
   switch (attempt.reportedRun?.kind) {
     case 'running': {
       const moved = transferAtOnce({ forwarding, attempt }, context);
-      if (moved === null) return continueElsewhere(forwarding, attempt, context);
-      return [describeSilence(forwarding, attempt, silentMs, 'moved'), ...moved];
+      return moved === null
+        ? [describeSilence(forwarding, attempt, silentMs, 'unverified')]
+        : [describeSilence(forwarding, attempt, silentMs, 'moved'), ...moved];
     }
     case 'not-stated':
       return [describeSilence(forwarding, attempt, silentMs, 'unverified')];
