Forget a held answer to a caller of HTTP/1.0 that is refused after all

Cause: when the state of the requests is lost, all open answers are refused; the bytes held for a caller of HTTP/1.0 stayed in the table. Found by reading, not seen in a play. Change: a refusal forgets them.

--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -110,6 +110,7 @@
   const refuseWith = (key: number, failure: Failure, cause: ConnectionEndCause): void => {
     const answer = open.get(key);
     if (answer === undefined) return;
+    held.delete(key);
     const { response, requestId } = answer;
     if (response.headersSent) {
       open.delete(key);
