--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -351,6 +351,11 @@
     level: 'warn',
     text: 'An address of the daemon is in use or not set up yet; the daemon tries to open it again.',
   },
+  'memory-full': {
+    number: 1009,
+    level: 'warn',
+    text: 'A part of the daemon could not reserve memory, and refuses or ends a request or a call.',
+  },
   'effect-failed': {
     number: 4030,
     level: 'error',
--- a/packages/core/metrics/deferredMetrics.ts
+++ b/packages/core/metrics/deferredMetrics.ts
@@ -5,6 +5,11 @@
 export interface DeferredMetrics {
   readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
   readonly recordLatency: (name: string, className: string, duration: Millis) => void;
+  readonly setGauge: (
+    name: string,
+    value: number,
+    labels: Readonly<Record<string, string>>,
+  ) => void;
   readonly renderText: () => Promise<string>;
   /** Loads the libraries and applies the pending records. */
   readonly load: () => Promise<void>;
@@ -50,6 +55,11 @@
         metrics.recordLatency(name, className, duration);
       });
     },
+    setGauge: (name, value, labels) => {
+      applyWhenLoaded((metrics) => {
+        metrics.setGauge(name, value, labels);
+      });
+    },
     renderText: async () => (await getOrLoadMetrics()).renderText(),
     load: async () => {
       await getOrLoadMetrics();
--- a/packages/core/metrics/metrics.ts
+++ b/packages/core/metrics/metrics.ts
@@ -10,7 +10,11 @@
 export interface Metrics {
   readonly addCount: (name: string, labels: Readonly<Record<string, string>>) => void;
   readonly recordLatency: (name: string, className: string, duration: Millis) => void;
-  readonly setGauge: (name: string, value: number) => void;
+  readonly setGauge: (
+    name: string,
+    value: number,
+    labels?: Readonly<Record<string, string>>,
+  ) => void;
   /** Renders all metrics in the Prometheus text format, for the `/metrics` page. */
   readonly renderText: () => Promise<string>;
 }
@@ -61,8 +65,8 @@
       histogramsByClass.set(className, histogram);
       histogram.record(duration);
     },
-    setGauge: (name, value) => {
-      findGauge(name, []).set(value);
+    setGauge: (name, value, labels = {}) => {
+      findGauge(name, Object.keys(labels)).set({ ...labels }, value);
     },
     renderText: () => {
       publishLatencies();
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -80,6 +80,7 @@
     }
     end = findEventEnd(bytes, end);
   }
-  const rest = bytes.subarray(start);
+  // A view would keep the whole chunk in memory for as long as the rest of the event is due.
+  const rest = start === 0 ? bytes : new Uint8Array(bytes.subarray(start));
   return { state: { rest }, events, outcome: rest.length > MAX_EVENT_BYTES ? 'too-large' : 'ok' };
 };
--- a/packages/decisions/forwarding/types.ts
+++ b/packages/decisions/forwarding/types.ts
@@ -129,7 +129,8 @@
   readonly host: string;
   /** Alternating header names and values, in the caller's order and spelling. */
   readonly headers: readonly string[];
-  readonly body: Uint8Array;
+  /** Parts of the body, in order; none without a body. */
+  readonly body: readonly Uint8Array[];
   readonly credential: string | null;
   /** The caller's timeout, counted from `receivedAt`; null when it sent none. */
   readonly callerTimeoutMs: Millis | null;
--- a/packages/gateway/endpoints/endlessAnswer.test.ts
+++ b/packages/gateway/endpoints/endlessAnswer.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { createEndpointClient } from './endpointClient.js';
-import { buildOrder, CODEC } from './endpointClient.fixture.js';
+import { buildOrder, createTestClient } from './endpointClient.fixture.js';
 import { ENDLESS_HEADS, MAX_BYTES, startEndlessServer } from './endlessServer.fixture.js';
 import type { RequestsEvent } from '../events.js';
 
@@ -9,7 +8,7 @@
 const runEndless = async (t: ExecutionContext, head: string, piece: string) => {
   const events: RequestsEvent[] = [];
   const server = await startEndlessServer(t, head, piece);
-  const client = createEndpointClient(CODEC, (event) => {
+  const client = createTestClient((event) => {
     events.push(event);
     if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
   });
--- a/packages/gateway/endpoints/endpointClient.fixture.ts
+++ b/packages/gateway/endpoints/endpointClient.fixture.ts
@@ -1,4 +1,7 @@
-import type { AttemptOrder } from '../events.js';
+import { createEndpointClient } from './endpointClient.js';
+import type { EndpointClient } from './endpointClient.js';
+import { sumLengths } from '../../core/bytes/sumLengths.js';
+import type { AttemptOrder, RequestsEvent } from '../events.js';
 import type { AnswerHead, HeadCodec } from '../types.js';
 
 const HEAD: Omit<AnswerHead, 'status'> = {
@@ -17,7 +20,12 @@
   decodeCaller: () => {
     throw new Error('not used');
   },
-  encodeAttempt: (request) => ['Host', 'test', 'Content-Length', request.body.length.toString()],
+  encodeAttempt: (request) => [
+    'Host',
+    'test',
+    'Content-Length',
+    sumLengths(request.body).toString(),
+  ],
   decodeAnswer: (status) => ({ ...HEAD, status }),
   isReadinessPath: () => false,
 };
@@ -48,7 +56,7 @@
     path: '/a/',
     host: 'test',
     headers: [],
-    body: Buffer.from('x'),
+    body: [Buffer.from('x')],
     credential: null,
     callerTimeoutMs: 1_000,
     demand: null,
@@ -57,3 +65,12 @@
     receivedAt: 0,
   },
 });
+
+/**
+ * Creates a client whose received bytes nobody counts.
+ *
+ * @param post - receives the events of the attempts
+ * @returns the client
+ */
+export const createTestClient = (post: (event: RequestsEvent) => void): EndpointClient =>
+  createEndpointClient(CODEC, post, () => undefined);
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -2,8 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { createEndpointClient } from './endpointClient.js';
-import { buildOrder, CODEC } from './endpointClient.fixture.js';
+import { buildOrder, createTestClient } from './endpointClient.fixture.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { RequestsEvent } from '../events.js';
 
@@ -28,7 +27,7 @@
   t.teardown(() => server.close());
   const events: RequestsEvent[] = [];
   await new Promise<void>((resolve) => {
-    const client = createEndpointClient(CODEC, (event) => {
+    const client = createTestClient((event) => {
       events.push(event);
       if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
       if (event.kind === 'answer-ended' || event.kind === 'attempt-failed') resolve();
@@ -147,7 +146,7 @@
   });
   await new Promise((resolve) => free.close(resolve));
   await new Promise<void>((resolve) => {
-    createEndpointClient(CODEC, (event) => {
+    createTestClient((event) => {
       events.push(event);
       resolve();
     }).open(buildOrder(port));
@@ -189,7 +188,7 @@
   const closed = new Promise((resolve) => {
     server.once('close', resolve);
   });
-  const client = createEndpointClient(CODEC, (event) => {
+  const client = createTestClient((event) => {
     // As many turns as a long queue of events takes.
     if (event.kind !== 'attempt-failed') setTimeout(() => client.cancel(1, 1), 50);
   });
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -46,6 +46,13 @@
 const isParseError = (error: Error): boolean =>
   'code' in error && typeof error.code === 'string' && error.code.startsWith('HPE_');
 
+/** Sends the parts of a body together with the head, without joining them. */
+const sendBody = (outgoing: ClientRequest, body: readonly Uint8Array[]): void => {
+  const last = body.at(-1);
+  for (const part of body.slice(0, -1)) outgoing.write(part);
+  outgoing.end(last);
+};
+
 const probeAddress = ({ host, port }: EndpointAddress): Promise<ProbeResult> =>
   new Promise((resolve) => {
     const socket = connect({ host, port });
@@ -74,11 +81,13 @@
  *
  * @param codec - encodes the heads of requests and decodes the heads of answers
  * @param post - receives the events of the attempts
+ * @param recordReceived - receives the number of bytes that were read
  * @returns the client
  */
 export const createEndpointClient = (
   codec: HeadCodec,
   post: (event: RequestsEvent) => void,
+  recordReceived: (bytes: number) => void,
 ): EndpointClient => {
   const running = new Map<string, RunningAttempt>();
   const probes = new Map<string, Promise<ProbeResult>>();
@@ -130,7 +139,7 @@
       send: () => {
         if (phase !== 'connected') return;
         phase = 'sent';
-        outgoing.end(request.body);
+        sendBody(outgoing, request.body);
       },
     });
     const connectTimer = setTimeout(() => {
@@ -165,6 +174,7 @@
       post({ ...eventBase, kind: 'answer-started', head });
       incoming.on('data', (bytes: Buffer) => {
         bodyBytes += bytes.length;
+        recordReceived(bytes.length);
         if (phase !== 'ended') post({ ...eventBase, kind: 'answer-continued', bytes });
       });
       incoming.on('end', () => {
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -303,7 +303,8 @@
       readonly kind: 'send-whole';
       readonly key: number;
       readonly head: AnswerHead;
-      readonly body: Uint8Array;
+      /** Parts of the body, in order. */
+      readonly body: readonly Uint8Array[];
     }
   | { readonly kind: 'refuse'; readonly key: number; readonly failure: Failure }
   | { readonly kind: 'break-answer'; readonly key: number }
--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -11,6 +11,7 @@
 import type { VirtualClock } from '../../core/clock.js';
 import type { EventName } from '../../core/events/catalogue.js';
 import type { EventDetails } from '../../core/events/types.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import type { ForwardRequest } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import { performEffect } from '../perform.js';
@@ -22,6 +23,10 @@
 /** Limit of the bytes of all buffered bodies. */
 export const MAX_BUFFERED_BODY_BYTES = 100_000;
 
+/** Limits of the memory of open requests and of unread answers. */
+const MAX_REQUEST_BYTES = 1024 * 1024;
+const MAX_UNREAD_BYTES = 64 * 1024 * 1024;
+
 export const ANSWER_HEAD: AnswerHead = {
   status: 200,
   headers: [],
@@ -197,7 +202,8 @@
       counts.add(`${cause} ${phase}`);
     },
   });
-  const responders = createResponders(connections, () => undefined);
+  const unreadMemory = createMemoryAccount(MAX_UNREAD_BYTES);
+  const responders = createResponders(connections, () => undefined, unreadMemory);
   const callers = createCallerServer({
     codec: {
       decodeCaller,
@@ -209,7 +215,10 @@
     responders,
     connections,
     headerCheckMs: 10,
-    maxBufferedBodyBytes: MAX_BUFFERED_BODY_BYTES,
+    memory: {
+      bodies: createMemoryAccount(MAX_BUFFERED_BODY_BYTES),
+      requests: createMemoryAccount(MAX_REQUEST_BYTES),
+    },
     postArrival: (request) => {
       requests.add(request);
       return 'queued';
--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -2,6 +2,7 @@
 import { createCallerServer } from './callerServer.js';
 import { createTestConnections } from './callerServer.fixture.js';
 import { createResponders } from './responders.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import { CODEC } from '../endpoints/endpointClient.fixture.js';
 
 const HOST = '127.0.0.1';
@@ -14,13 +15,14 @@
 test('an unexpected error ends one request and is reported', async (t) => {
   const faults: unknown[] = [];
   const connections = createTestConnections();
+  const memory = createMemoryAccount(100_000);
   const callers = createCallerServer({
     // Decodes no caller: it throws.
     codec: CODEC,
     clock: { now: () => 0 },
     connections,
-    maxBufferedBodyBytes: 1_000,
-    responders: createResponders(connections, () => undefined),
+    memory: { bodies: memory, requests: memory },
+    responders: createResponders(connections, () => undefined, memory),
     postArrival: () => 'queued',
     postDisconnect: () => undefined,
     onFault: (error) => {
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,14 +1,22 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { ConnectionTracker } from './connections.js';
-import { DEFAULT_MAX_BODY_BYTES, LISTEN_BACKLOG, MAX_HEADER_BYTES } from './constants.js';
+import {
+  DEFAULT_MAX_BODY_BYTES,
+  LISTEN_BACKLOG,
+  MAX_HEADER_BYTES,
+  REQUEST_OVERHEAD_BYTES,
+  STRING_OVERHEAD_BYTES,
+} from './constants.js';
 import { createIdleConnections } from './idleConnections.js';
 import { createRequestBodies } from './requestBodies.js';
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import type { Clock, Millis } from '../../core/clock.js';
+import type { MemoryAccount } from '../../core/memory/types.js';
 import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
 import { hasValidNames, isValidTarget } from '../headSyntax.js';
 import type { HeadCodec } from '../types.js';
@@ -20,14 +28,21 @@
   readonly connections: ConnectionTracker;
   /** Interval of checking the header timeout; that of the HTTP server by default. */
   readonly headerCheckMs?: Millis;
-  /** Limit of the bytes of all bodies of requests that have not ended; further ones are refused. */
-  readonly maxBufferedBodyBytes: number;
+  readonly memory: CallerMemory;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
   /** Receives an unexpected error, which ends one request. */
   readonly onFault: (error: unknown) => void;
 }
 
+/** Accounts of what callers send. */
+export interface CallerMemory {
+  /** Bodies of requests that have not ended. */
+  readonly bodies: MemoryAccount;
+  /** Heads of requests that have not ended, and what each of them takes beyond its bytes. */
+  readonly requests: MemoryAccount;
+}
+
 export interface CallerServer {
   readonly listen: (address: EndpointAddress) => Promise<void>;
   readonly applyLimits: (
@@ -53,8 +68,20 @@
   'the buffers for request bodies are full',
   200,
 );
+const TOO_MANY_REQUESTS = createFailure(
+  'not-run',
+  'overloaded',
+  'the open requests take all of their memory',
+  200,
+);
 const QUEUE_FULL = createFailure('not-run', 'overloaded', 'the event queue is full', 200);
 
+const estimateRequestBytes = ({ rawHeaders, url = '' }: IncomingMessage): number =>
+  rawHeaders.reduce(
+    (sum, { length }) => sum + length + STRING_OVERHEAD_BYTES,
+    REQUEST_OVERHEAD_BYTES + url.length,
+  );
+
 const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** The caller closed its connection inside a request. */
@@ -69,6 +96,11 @@
   return code.startsWith('HPE_') && code !== INCOMPLETE_CODE ? 'unreadable' : 'caller';
 };
 
+const runOnceClosed = (response: ServerResponse, run: () => void): void => {
+  if (response.closed) run();
+  else response.once('close', run);
+};
+
 /**
  * Creates the server for callers. It reads the whole body before it posts a request, since a retry
  * sends the body again.
@@ -78,10 +110,20 @@
  */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { codec, clock, connections, responders } = options;
-  const bodies = createRequestBodies(options.maxBufferedBodyBytes, DEFAULT_MAX_BODY_BYTES);
+  const { memory } = options;
+  const bodies = createRequestBodies(memory.bodies, DEFAULT_MAX_BODY_BYTES);
   const idleConnections = createIdleConnections(connections.recordIdleClose);
   let nextKey = 1;
 
+  /**
+   * Refuses a request whose body has not been read. The connection stays open for the rest of the body:
+   * to close it with unread bytes resets it, and the caller may lose the answer.
+   */
+  const refuseUnread = (key: number, response: ServerResponse, failure: Failure): void => {
+    if (!response.req.complete) response.shouldKeepAlive = true;
+    responders.refuse(key, failure);
+  };
+
   const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     const receivedAt = clock.now();
     const head = codec.decodeCaller(
@@ -101,22 +143,29 @@
       responders.refuse(key, INVALID_HEAD);
       return;
     }
+    const requestBytes = estimateRequestBytes(incoming);
+    if (memory.requests.reserve(requestBytes) === 'full') {
+      refuseUnread(key, response, TOO_MANY_REQUESTS);
+      return;
+    }
+    runOnceClosed(response, () => {
+      memory.requests.release(requestBytes);
+    });
     const result = await bodies.read(incoming);
     switch (result.kind) {
       case 'broken':
         responders.remove(key);
         return;
       case 'too-large':
-        responders.refuse(key, BODY_TOO_LARGE);
+        refuseUnread(key, response, BODY_TOO_LARGE);
         return;
       case 'no-room':
-        responders.refuse(key, BUFFERS_FULL);
+        refuseUnread(key, response, BUFFERS_FULL);
         return;
       case 'whole':
         break;
     }
-    if (response.closed) result.release();
-    else response.once('close', result.release);
+    runOnceClosed(response, result.release);
     if (responders.isBehindLast(key)) {
       // It cannot be answered. Its caller knows from the answer before that it is not handled.
       responders.remove(key);
--- a/packages/gateway/frontend/connections.test.ts
+++ b/packages/gateway/frontend/connections.test.ts
@@ -20,7 +20,7 @@
 
 const sendAnswer = async ({ perform, waitForRequest }: CallerHarness, id: string) => {
   const { key } = await waitForRequest(id);
-  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: Buffer.from(`answer to ${id}`) });
+  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [Buffer.from(`answer to ${id}`)] });
 };
 
 const startAnswer = async ({ perform, waitForRequest }: CallerHarness, id: string) => {
@@ -215,7 +215,7 @@
   const { key } = await harness.waitForRequest('r-1');
   caller.socket.pause();
   const body = Buffer.alloc(4 * LARGE_BYTES);
-  harness.perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body });
+  harness.perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [body] });
   harness.perform({ kind: 'close-idle' });
   const event = await harness.waitForEvent('request-cut');
   t.is(event.requestId, 'r-1');
--- a/packages/gateway/frontend/idleConnections.test.ts
+++ b/packages/gateway/frontend/idleConnections.test.ts
@@ -14,7 +14,7 @@
 
 const sendAnswer = async ({ perform, waitForRequest }: CallerHarness, id: string) => {
   const { key } = await waitForRequest(id);
-  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: Buffer.from(`answer to ${id}`) });
+  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [Buffer.from(`answer to ${id}`)] });
 };
 
 /** Blocks the event loop, as a process without processor time does. */
--- a/packages/gateway/frontend/pipelining.test.ts
+++ b/packages/gateway/frontend/pipelining.test.ts
@@ -6,7 +6,7 @@
 
 const sendAnswer = async ({ perform, waitForRequest }: CallerHarness, id: string) => {
   const { key } = await waitForRequest(id);
-  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: Buffer.from(`answer to ${id}`) });
+  perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [Buffer.from(`answer to ${id}`)] });
 };
 
 /** Tells whether a caller receives a text before its connection is closed. */
--- a/packages/gateway/frontend/requestBodies.test.ts
+++ b/packages/gateway/frontend/requestBodies.test.ts
@@ -4,6 +4,7 @@
   MAX_BUFFERED_BODY_BYTES,
   startCallerServer,
 } from './callerServer.fixture.js';
+import { sumLengths } from '../../core/bytes/sumLengths.js';
 
 const LARGE_BODY = 'a'.repeat(MAX_BUFFERED_BODY_BYTES * 0.6);
 
@@ -24,7 +25,7 @@
   await first.waitForText('no-endpoint');
   const third = server.openCaller();
   third.send(formatRequest('c', LARGE_BODY));
-  t.is((await server.waitForRequest('c')).body.length, LARGE_BODY.length);
+  t.is(sumLengths((await server.waitForRequest('c')).body), LARGE_BODY.length);
 });
 
 // Guards against bytes that stay counted for callers that have left, until all requests are refused.
@@ -46,7 +47,7 @@
   await waitForEnds(4);
   const last = server.openCaller();
   last.send(formatRequest('e', LARGE_BODY));
-  t.is((await server.waitForRequest('e')).body.length, LARGE_BODY.length);
+  t.is(sumLengths((await server.waitForRequest('e')).body), LARGE_BODY.length);
 });
 
 // Guards against a body that is altered when it is collected, with a length and with chunks.
@@ -57,11 +58,11 @@
   await new Promise(setImmediate);
   caller.send('def');
   const sized = await server.waitForRequest('a');
-  t.is(Buffer.from(sized.body).toString(), 'abcdef');
+  t.is(Buffer.concat(sized.body).toString(), 'abcdef');
   const other = server.openCaller();
   other.send(`${CHUNKED}3\r\nabc\r\n`);
   await new Promise(setImmediate);
   other.send('3\r\ndef\r\n0\r\n\r\n');
   const chunked = await server.waitForRequest('b');
-  t.is(Buffer.from(chunked.body).toString(), 'abcdef');
+  t.is(Buffer.concat(chunked.body).toString(), 'abcdef');
 });
--- a/packages/gateway/frontend/requestBodies.ts
+++ b/packages/gateway/frontend/requestBodies.ts
@@ -1,106 +1,117 @@
 import type { IncomingMessage } from 'node:http';
+import {
+  addBlock,
+  appendChunk,
+  computeNextBlock,
+  createByteBlocks,
+  listParts,
+} from '../../core/bytes/byteBlocks.js';
+import type { MemoryAccount } from '../../core/memory/types.js';
 
 /** How the body of a request ended. */
 export type BodyResult =
   | {
       readonly kind: 'whole';
-      readonly body: Uint8Array;
-      /** To be called once the request has ended; until then the body counts as buffered. */
+      /** Parts of the body, in order. */
+      readonly body: readonly Uint8Array[];
+      /** To be called once the request has ended; until then the body stays reserved. */
       readonly release: () => void;
     }
   | { readonly kind: 'too-large' }
   | { readonly kind: 'no-room' }
   | { readonly kind: 'broken' };
 
-/** Reads the bodies of requests, within a limit of all that are buffered. */
+/** Reads the bodies of requests, within a limit of all that are kept. */
 export interface RequestBodies {
   readonly read: (incoming: IncomingMessage) => Promise<BodyResult>;
   /** Sets the size limit of one body. */
   readonly setMaxBodyBytes: (maxBodyBytes: number) => void;
 }
 
-/** Bytes of one body while it is received. */
-interface BodyCollector {
-  readonly add: (chunk: Uint8Array) => void;
-  readonly join: () => Uint8Array;
+/** Memory of one body. */
+interface BodyMemory {
+  readonly reserve: (bytes: number) => 'reserved' | 'full';
+  readonly release: () => void;
 }
 
-const createChunkCollector = (): BodyCollector => {
-  const chunks: Uint8Array[] = [];
+const createBodyMemory = (account: MemoryAccount): BodyMemory => {
+  let reserved = 0;
   return {
-    add: (chunk) => {
-      chunks.push(chunk);
+    reserve: (bytes) => {
+      if (account.reserve(bytes) === 'full') return 'full';
+      reserved += bytes;
+      return 'reserved';
     },
-    join: () => (chunks.length === 1 ? (chunks[0] as Uint8Array) : Buffer.concat(chunks)),
-  };
-};
-
-/** Copies the chunks into place, so that a large body is never in memory twice. */
-const createSizedCollector = (length: number): BodyCollector => {
-  let body: Buffer | null = null;
-  let size = 0;
-  return {
-    add: (chunk) => {
-      body ??= Buffer.allocUnsafeSlow(length);
-      body.set(chunk, size);
-      size += chunk.length;
+    release: () => {
+      account.release(reserved);
+      reserved = 0;
     },
-    join: () => body ?? new Uint8Array(),
   };
 };
 
-const createCollector = ({ headers }: IncomingMessage, maxBodyBytes: number): BodyCollector => {
-  const length = Number(headers['content-length'] ?? NaN);
-  const isSized = Number.isSafeInteger(length) && length > 0 && length <= maxBodyBytes;
-  return isSized ? createSizedCollector(length) : createChunkCollector();
+/** Returns the stated length of a body; 0 for one in chunks, or without one. */
+const readStatedLength = ({ headers }: IncomingMessage): number => {
+  const length = Number(headers['content-length'] ?? 0);
+  return Number.isFinite(length) ? length : 0;
 };
 
 /**
- * Creates the reader of request bodies. A body counts as buffered from its first byte until its request
- * has ended, since a retry sends it again.
+ * Creates the reader of request bodies. The memory of a body is reserved before it is kept, and stays
+ * reserved until its request has ended, since a retry sends it again. A body with a stated length is
+ * refused before it is read if there is no room for it.
  *
- * @param maxBufferedBytes - limit of the bytes of all buffered bodies; requests beyond it are refused
+ * @param account - memory for all bodies
  * @param initialMaxBodyBytes - size limit of one body at first
  * @returns the reader
  */
 export const createRequestBodies = (
-  maxBufferedBytes: number,
+  account: MemoryAccount,
   initialMaxBodyBytes: number,
 ): RequestBodies => {
   let maxBodyBytes = initialMaxBodyBytes;
-  let bufferedBytes = 0;
 
   const read = (incoming: IncomingMessage): Promise<BodyResult> =>
     new Promise((resolve) => {
-      const collector = createCollector(incoming, maxBodyBytes);
-      let size = 0;
+      const memory = createBodyMemory(account);
+      const body = createByteBlocks();
       let phase: 'receiving' | 'settled' = 'receiving';
-      const release = (): void => {
-        bufferedBytes -= size;
-        size = 0;
-      };
       const settle = (result: BodyResult): void => {
         if (phase === 'settled') return;
         phase = 'settled';
-        incoming.removeAllListeners('data');
-        if (result.kind !== 'whole') release();
+        incoming.off('data', addChunk);
+        if (result.kind !== 'whole') memory.release();
         resolve(result);
       };
-      incoming.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        bufferedBytes += chunk.length;
-        if (size > maxBodyBytes) settle({ kind: 'too-large' });
-        else if (bufferedBytes > maxBufferedBytes) settle({ kind: 'no-room' });
-        else collector.add(chunk);
-      });
-      incoming.on('end', () => {
-        settle({ kind: 'whole', body: collector.join(), release });
-      });
+      const addChunk = (chunk: Buffer): void => {
+        if (body.length + chunk.length > maxBodyBytes) {
+          settle({ kind: 'too-large' });
+          return;
+        }
+        const next = computeNextBlock(body, chunk.length);
+        if (next > 0 && memory.reserve(next) === 'full') settle({ kind: 'no-room' });
+        else appendChunk(body, chunk);
+      };
+      // `close` handles the end of the connection; an error without a listener would end the process.
+      incoming.on('error', () => undefined);
       incoming.on('close', () => {
         settle({ kind: 'broken' });
       });
-      // `close` handles the end of the connection; an error without a listener would end the process.
-      incoming.on('error', () => undefined);
+      const statedLength = readStatedLength(incoming);
+      if (statedLength > maxBodyBytes) {
+        settle({ kind: 'too-large' });
+        return;
+      }
+      if (statedLength > 0) {
+        if (memory.reserve(statedLength) === 'full') {
+          settle({ kind: 'no-room' });
+          return;
+        }
+        addBlock(body, statedLength);
+      }
+      incoming.on('data', addChunk);
+      incoming.on('end', () => {
+        settle({ kind: 'whole', body: listParts(body), release: memory.release });
+      });
     });
 
   return {
--- a/packages/gateway/frontend/responders.test.ts
+++ b/packages/gateway/frontend/responders.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import { createTestConnections } from './callerServer.fixture.js';
 import { createResponders } from './responders.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import type { AnswerHead } from '../types.js';
 
 const HEAD: AnswerHead = {
@@ -20,11 +21,15 @@
 // Guards against a caller that waits without end for an answer that could not be sent: it was no
 // longer among the open ones, so that nothing could close its connection.
 test('an answer that cannot be sent can still be broken off', async (t) => {
-  const responders = createResponders(createTestConnections(), () => undefined);
+  const responders = createResponders(
+    createTestConnections(),
+    () => undefined,
+    createMemoryAccount(100_000),
+  );
   const server = createServer((_incoming, response) => {
     responders.open(1, 'r-1', response);
     t.throws(() => {
-      responders.sendWhole(1, { ...HEAD, status: 42 }, new Uint8Array());
+      responders.sendWhole(1, { ...HEAD, status: 42 }, []);
     });
     t.true(responders.has(1));
     responders.breakAnswer(1, 'answer-broken');
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -4,6 +4,11 @@
 import type { ConnectionTracker } from './connections.js';
 import { MAX_CALLER_BACKLOG_BYTES } from './constants.js';
 import type { ConnectionEndCause } from './types.js';
+import { createUnreadAnswers } from './unreadAnswers.js';
+import { appendChunk, createByteBlocks, listParts } from '../../core/bytes/byteBlocks.js';
+import type { ByteBlocks } from '../../core/bytes/byteBlocks.js';
+import { sumLengths } from '../../core/bytes/sumLengths.js';
+import type { MemoryAccount } from '../../core/memory/types.js';
 import type { Failure } from '../../core/verdict.js';
 import { toProblem } from '../../wire/problem.js';
 import type { AnswerHead } from '../types.js';
@@ -23,10 +28,16 @@
   /** Removes the answer of a caller that disconnected. */
   readonly remove: (key: number) => void;
   readonly startAnswer: (key: number, head: AnswerHead) => void;
-  /** Writes bytes; returns `too-slow` when more than `MAX_CALLER_BACKLOG_BYTES` are unread. */
-  readonly writeAnswer: (key: number, bytes: Uint8Array) => 'written' | 'too-slow';
-  readonly endAnswer: (key: number) => void;
-  readonly sendWhole: (key: number, head: AnswerHead, body: Uint8Array) => void;
+  /** Writes bytes; returns the answers whose callers are too slow, this one or others. */
+  readonly writeAnswer: (key: number, bytes: Uint8Array) => readonly number[];
+  /** Ends an answer; returns the answers whose callers are too slow. */
+  readonly endAnswer: (key: number) => readonly number[];
+  /** Sends a whole answer; returns the answers whose callers are too slow. */
+  readonly sendWhole: (
+    key: number,
+    head: AnswerHead,
+    body: readonly Uint8Array[],
+  ) => readonly number[];
   readonly refuse: (key: number, failure: Failure) => void;
   /** Closes the connection without completing the answer; the cause is logged. */
   readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
@@ -42,8 +53,7 @@
 /** Answer to a caller of HTTP/1.0, which can only be sent with a length. */
 interface HeldAnswer {
   readonly head: AnswerHead;
-  readonly chunks: Uint8Array[];
-  bytes: number;
+  readonly body: ByteBlocks;
 }
 
 interface OpenAnswer {
@@ -51,10 +61,9 @@
   readonly response: ServerResponse;
 }
 
-const holdBytes = (answer: HeldAnswer, bytes: Uint8Array): 'written' | 'too-slow' => {
-  answer.chunks.push(bytes);
-  answer.bytes += bytes.length;
-  return answer.bytes > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
+const sendParts = (response: ServerResponse, parts: readonly Uint8Array[]): void => {
+  for (const part of parts.slice(0, -1)) response.write(part);
+  response.end(parts.at(-1));
 };
 
 /**
@@ -65,13 +74,18 @@
  *
  * @param connections - records the writes, and why connections are closed
  * @param onUnreadable - receives errors of connections whose bytes are not a valid request
+ * @param memory - memory for answers that callers have not read
  * @returns the empty table
  */
 export const createResponders = (
   connections: Pick<ConnectionTracker, 'recordCause' | 'recordWrite'>,
   onUnreadable: (error: Error) => void,
+  memory: MemoryAccount,
 ): Responders => {
   const open = new Map<number, OpenAnswer>();
+  /** All answers whose connections are open, those that have been ended included. */
+  const sending = new Map<number, ServerResponse>();
+  const unread = createUnreadAnswers(memory);
   const queues = createAnswerQueues();
   /** Started answers that are sent once they are complete. */
   const held = new Map<number, HeldAnswer>();
@@ -90,21 +104,46 @@
    */
   const buildHeaders = (response: ServerResponse, headers: readonly string[]): string[] => {
     if (phase === 'serving' || queues.hasFurther(response)) return [...headers];
+    // To close a connection with unread bytes resets it, and the caller may lose the answer.
+    if (!response.req.complete) return [...headers];
     queues.recordLast(response);
     return [...headers, 'Connection', 'close'];
   };
 
-  const sendWhole = (key: number, head: AnswerHead, body: Uint8Array): void => {
+  const track = (key: number, response: ServerResponse): void => {
+    sending.set(key, response);
+    unread.add(key, () => response.writableLength + (held.get(key)?.body.allocatedBytes ?? 0));
+    response.once('close', () => {
+      sending.delete(key);
+      unread.remove(key);
+    });
+  };
+
+  /** Lists the callers to end after a write: those without room, and one above its own limit. */
+  const listTooSlow = (key: number): readonly number[] => {
+    const ended = unread.update(key);
+    const bytes = sending.get(key)?.writableLength ?? 0;
+    const heldBytes = held.get(key)?.body.length ?? 0;
+    const isTooSlow = Math.max(bytes, heldBytes) > MAX_CALLER_BACKLOG_BYTES;
+    return isTooSlow && !ended.includes(key) ? [...ended, key] : ended;
+  };
+
+  const sendWhole = (
+    key: number,
+    head: AnswerHead,
+    body: readonly Uint8Array[],
+  ): readonly number[] => {
     const response = open.get(key)?.response;
-    if (response === undefined) return;
+    if (response === undefined) return [];
     connections.recordWrite(key);
     const hasBody = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
-    const length = hasBody ? ['Content-Length', body.length.toString()] : [];
+    const length = hasBody ? ['Content-Length', sumLengths(body).toString()] : [];
     response.sendDate = false;
     response.writeHead(head.status, buildHeaders(response, [...head.headers, ...length]));
-    response.end(hasBody ? body : undefined);
+    sendParts(response, hasBody ? body : []);
     // An answer that could not be sent stays open, so that it can be broken off.
     open.delete(key);
+    return unread.update(key);
   };
 
   const refuseWith = (key: number, failure: Failure, cause: ConnectionEndCause): void => {
@@ -141,16 +180,17 @@
   };
 
   const breakAnswer = (key: number, cause: ConnectionEndCause): void => {
-    const answer = removeAnswer(key);
-    if (answer === undefined) return;
+    const response = removeAnswer(key)?.response ?? sending.get(key);
+    if (response === undefined) return;
     connections.recordCause(key, cause);
-    answer.response.destroy();
+    response.destroy();
   };
 
   return {
     open: (key, requestId, response) => {
       queues.add(response);
       open.set(key, { requestId, response });
+      track(key, response);
     },
     has: (key) => open.has(key),
     isBehindLast: (key) => {
@@ -165,7 +205,7 @@
       const response = open.get(key)?.response;
       if (response === undefined) return;
       if (!response.useChunkedEncodingByDefault) {
-        held.set(key, { head, chunks: [], bytes: 0 });
+        held.set(key, { head, body: createByteBlocks() });
         return;
       }
       connections.recordWrite(key);
@@ -174,18 +214,22 @@
     },
     writeAnswer: (key, bytes) => {
       const response = open.get(key)?.response;
-      if (response === undefined) return 'written';
+      if (response === undefined) return [];
       const answer = held.get(key);
-      if (answer !== undefined) return holdBytes(answer, bytes);
-      connections.recordWrite(key);
-      response.write(bytes);
-      return response.writableLength > MAX_CALLER_BACKLOG_BYTES ? 'too-slow' : 'written';
+      if (answer === undefined) {
+        connections.recordWrite(key);
+        response.write(bytes);
+      } else {
+        appendChunk(answer.body, bytes);
+      }
+      return listTooSlow(key);
     },
     endAnswer: (key) => {
       const answer = held.get(key);
       held.delete(key);
-      if (answer === undefined) removeAnswer(key)?.response.end();
-      else sendWhole(key, answer.head, Buffer.concat(answer.chunks));
+      if (answer !== undefined) return sendWhole(key, answer.head, listParts(answer.body));
+      removeAnswer(key)?.response.end();
+      return unread.update(key);
     },
     sendWhole,
     refuse: (key, failure) => {
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -1,5 +1,6 @@
 import { createStatusServer } from './frontend/statusServer.js';
 import type { StatusPage } from './frontend/statusServer.js';
+import { GATEWAY_HOLDERS } from './memory.js';
 import type { GatewaySettings, HeadCodec } from './types.js';
 import { openAddress } from '../core/openAddress.js';
 import { wireGateway } from './wiring.js';
@@ -36,11 +37,21 @@
   };
 };
 
+/** Sets the gauges of who holds how much of the memory that others can fill. */
+const publishMemory = ({ metrics, ports }: GatewayCradle): void => {
+  const { accounts } = ports.memory;
+  for (const holder of GATEWAY_HOLDERS) {
+    metrics.setGauge('gateway_memory_reserved_bytes', accounts[holder].getReserved(), { holder });
+    metrics.setGauge('gateway_memory_limit_bytes', accounts[holder].limitBytes, { holder });
+  }
+};
+
 const createPageGetter =
   (cradle: GatewayCradle, codec: HeadCodec) =>
   async (path: string): Promise<StatusPage | null> => {
     if (codec.isReadinessPath(path)) return renderReadiness(cradle);
     if (path !== '/metrics') return null;
+    publishMemory(cradle);
     return {
       status: STATUS_READY,
       contentType: 'text/plain; version=0.0.4',
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -68,7 +68,12 @@
     dataCentresHeld: new Map(),
   },
   peers: buildPeers([REPORT]),
-  requests: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map<string, number[]>() },
+  requests: {
+    inFlight: new Map(),
+    answerBytes: 0,
+    budgets: new Map(),
+    sentTimes: new Map<string, number[]>(),
+  },
   moves: { orders: new Map(), held: new Map() },
 });
 
--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -99,7 +99,7 @@
   const effects: readonly GatewayEffect[] = [
     { kind: 'open-attempt', order: buildOrder(9) },
     { kind: 'start-answer', key: 1, head: HEAD },
-    { kind: 'send-whole', key: 1, head: HEAD, body: new Uint8Array() },
+    { kind: 'send-whole', key: 1, head: HEAD, body: [] },
   ];
   for (const effect of effects) {
     const { adapters, broken, posted, recorded } = createFailingAdapters();
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -206,6 +206,14 @@
   );
 };
 
+/** Closes answers that their callers do not read, so that they do not fill the daemon's memory. */
+const endSlowCallers = (keys: readonly number[], { loop, responders }: GatewayAdapters): void => {
+  for (const key of keys) {
+    responders.breakAnswer(key, 'slow-caller');
+    loop().post({ to: 'requests', kind: 'caller-disconnected', key });
+  }
+};
+
 const getRequestKey = (effect: GatewayEffect): number | null => {
   if (effect.kind === 'open-attempt') return effect.order.key;
   return 'key' in effect ? effect.key : null;
@@ -303,16 +311,13 @@
       responders.startAnswer(effect.key, effect.head);
       return;
     case 'write-answer':
-      if (responders.writeAnswer(effect.key, effect.bytes) === 'written') return;
-      // Closes the stream, so that a slow caller does not fill the daemon's memory.
-      responders.breakAnswer(effect.key, 'slow-caller');
-      loop().post({ to: 'requests', kind: 'caller-disconnected', key: effect.key });
+      endSlowCallers(responders.writeAnswer(effect.key, effect.bytes), adapters);
       return;
     case 'end-answer':
-      responders.endAnswer(effect.key);
+      endSlowCallers(responders.endAnswer(effect.key), adapters);
       return;
     case 'send-whole':
-      responders.sendWhole(effect.key, effect.head, effect.body);
+      endSlowCallers(responders.sendWhole(effect.key, effect.head, effect.body), adapters);
       return;
     case 'refuse':
       responders.refuse(effect.key, effect.failure);
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -1,11 +1,12 @@
 import { cancelAttempts } from './attempts.js';
 import { releaseCopy } from './generationCopy.js';
 import {
-  END_EVENTS,
-  LARGE_ANSWER_BYTES,
-  MAX_BUFFERED_BYTES,
-  MAX_WHOLE_ANSWER_BYTES,
-} from './constants.js';
+  findLargestAnswer,
+  removeAttempt,
+  holdFallbackAnswer,
+  updateHeldBytes,
+} from './answerMemory.js';
+import { END_EVENTS, MAX_WHOLE_ANSWER_BYTES } from './constants.js';
 import { listAnsweredFingerprints } from './content.js';
 import { failAttempt } from './crashes.js';
 import { finishStream, sendWholeAnswer } from './outcomes.js';
@@ -16,6 +17,7 @@
 import type { AttemptEnd } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
+import { appendChunk, listParts } from '../../core/bytes/byteBlocks.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
 import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
@@ -45,8 +47,8 @@
   return [{ kind: 'post', event: { to: 'quarantine', kind: 'answer-observed', fingerprints } }];
 };
 
-const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array =>
-  chunks.length === 1 ? (chunks[0] as Uint8Array) : Buffer.concat(chunks);
+const joinParts = (parts: readonly Uint8Array[]): Uint8Array =>
+  parts.length === 1 ? (parts[0] as Uint8Array) : Buffer.concat(parts);
 
 /** Closes the connection of an attempt and ends the attempt without a usable answer. */
 const endOpenAttempt = (
@@ -181,7 +183,7 @@
   }
   forwarding.lastDeliveredAt = now;
   forwarding.lastEventId = events.findLast(({ id }) => id !== null)?.id ?? forwarding.lastEventId;
-  const bytes = joinChunks(events.map((event) => event.bytes));
+  const bytes = joinParts(events.map((event) => event.bytes));
   return [...effects, { kind: 'write-answer', key, bytes }];
 };
 
@@ -192,40 +194,38 @@
   return { lastEventId, eventsLeft };
 };
 
-/** Counts the bytes of whole answers that the daemon buffers. */
-const sumBuffered = ({ state }: RequestsContext): number =>
-  [...state.inFlight.values()]
-    .flatMap(({ attempts }) => [...attempts.values()])
-    .reduce((sum, { bytes }) => sum + bytes, 0);
+/** Ends the largest answer if all that are being received exceed their memory together. */
+const limitAnswers = (context: RequestsContext): Effects => {
+  const { inputs, state } = context;
+  if (inputs.hasAnswerRoom()) return [];
+  const largest = findLargestAnswer(state);
+  if (largest === null) return [];
+  const end = { kind: 'garbled', message: 'the answers are too large together' } as const;
+  return [...endOpenAttempt(largest.forwarding, largest.attempt, end, context)];
+};
 
-const isTooLarge = ({ bytes }: Attempt, context: RequestsContext): boolean =>
-  bytes > MAX_WHOLE_ANSWER_BYTES ||
-  (bytes > LARGE_ANSWER_BYTES && sumBuffered(context) > MAX_BUFFERED_BYTES);
+const continueWhole = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  bytes: Uint8Array,
+  context: RequestsContext,
+): Effects => {
+  appendChunk(attempt.body, bytes);
+  updateHeldBytes(attempt, context.state);
+  if (attempt.body.length <= MAX_WHOLE_ANSWER_BYTES) return limitAnswers(context);
+  const end = { kind: 'garbled', message: 'the answer is too large' } as const;
+  return endOpenAttempt(forwarding, attempt, end, context);
+};
 
-/**
- * Handles bytes of an endpoint's answer: forwards complete events, or buffers a whole answer.
- *
- * @param forwarding - request
- * @param attempt - attempt that is answered
- * @param bytes - next bytes of the body
- * @param context - state and inputs
- * @returns effects
- */
-export const continueAnswer = (
+const continueStream = (
   forwarding: Forwarding,
   attempt: Attempt,
   bytes: Uint8Array,
   context: RequestsContext,
 ): Effects => {
-  if (!isStreaming(forwarding, attempt)) {
-    attempt.chunks.push(bytes);
-    attempt.bytes += bytes.length;
-    if (!isTooLarge(attempt, context)) return [];
-    const end = { kind: 'garbled', message: 'the answer is too large' } as const;
-    return endOpenAttempt(forwarding, attempt, end, context);
-  }
   const split = splitEvents(attempt.splitter, bytes);
   attempt.splitter = split.state;
+  updateHeldBytes(attempt, context.state);
   const { events, fault } = checkEventOrder(split.events, getProgress(forwarding));
   // The endpoint whose event comes first keeps a stream that another one continues.
   const written =
@@ -236,11 +236,30 @@
           ...writeEvents(forwarding, attempt, events, context),
         ];
   const message = split.outcome === 'too-large' ? 'an event is too large' : fault;
-  if (message === null) return written;
+  if (message === null) return [...written, ...limitAnswers(context)];
   const end = { kind: 'garbled', message } as const;
   return [...written, ...endOpenAttempt(forwarding, attempt, end, context)];
 };
 
+/**
+ * Handles bytes of an endpoint's answer: forwards complete events, or buffers a whole answer.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is answered
+ * @param bytes - next bytes of the body
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const continueAnswer = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  bytes: Uint8Array,
+  context: RequestsContext,
+): Effects =>
+  isStreaming(forwarding, attempt)
+    ? continueStream(forwarding, attempt, bytes, context)
+    : continueWhole(forwarding, attempt, bytes, context);
+
 const observeAnswer = (attempt: Attempt, context: RequestsContext): GatewayEffect => ({
   kind: 'post',
   event: {
@@ -260,8 +279,8 @@
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
   }
-  forwarding.attempts.delete(attempt.number);
-  const others = [...releaseCopy(attempt), ...cancelAttempts(forwarding)];
+  removeAttempt(forwarding, attempt, context.state);
+  const others = [...releaseCopy(attempt), ...cancelAttempts(forwarding, context)];
   return [
     observeAnswer(attempt, context),
     ...others,
@@ -290,14 +309,15 @@
   if (isStreaming(forwarding, attempt)) {
     return endStream(forwarding, attempt, context);
   }
-  const answer = { head, body: joinChunks(attempt.chunks) };
+  const { allocatedBytes: heldBytes } = attempt.body;
+  const answer = { head, body: listParts(attempt.body), heldBytes };
   if (head.status >= STATUS_SERVER_ERROR || forwarding.delivered === 'events') {
-    forwarding.fallbackAnswer = answer;
+    holdFallbackAnswer(forwarding, answer, context.state);
     const message = `the endpoint answered with ${head.status.toString()}`;
     return endAttempt(forwarding, attempt, { kind: 'failed-answer', message }, context);
   }
-  forwarding.attempts.delete(attempt.number);
-  const others = cancelAttempts(forwarding);
+  removeAttempt(forwarding, attempt, context.state);
+  const others = cancelAttempts(forwarding, context);
   return [
     observeAnswer(attempt, context),
     ...(isSuccess(head) ? reportSurvival(forwarding, context) : []),
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -5,6 +5,7 @@
   PLACEMENT_RETRY_MS,
   MAX_PLACEMENT_WAIT_SHARE,
 } from './constants.js';
+import { removeAttempts } from './answerMemory.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { applyRequestLimits, recordSent } from './requestLimits.js';
 import { checkRequestContent } from './content.js';
@@ -22,6 +23,7 @@
   RequestsContext,
   RequestsInputs,
 } from './types.js';
+import { createByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { EndpointId } from '../../core/ids.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
@@ -147,9 +149,9 @@
     backup,
     phase: 'connecting',
     head: null,
-    chunks: [],
-    bytes: 0,
+    body: createByteBlocks(),
     splitter: EMPTY_SPLITTER,
+    heldBytes: 0,
     lastEventAt: now,
     reportedRun: null,
     events: 0,
@@ -220,11 +222,8 @@
  * @param forwarding - request
  * @returns effects that close their connections and release their copies
  */
-export const cancelAttempts = (forwarding: Forwarding): Effects => {
-  const running = [...forwarding.attempts.values()];
-  forwarding.attempts.clear();
-  return running.flatMap((attempt) => cancelAttempt(forwarding, attempt));
-};
+export const cancelAttempts = (forwarding: Forwarding, { state }: RequestsContext): Effects =>
+  removeAttempts(forwarding, state).flatMap((attempt) => cancelAttempt(forwarding, attempt));
 
 /**
  * Places a request at an endpoint, schedules another try, or refuses it after the longest permitted
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -48,13 +48,6 @@
 /** Size limit of a whole answer, which is buffered until it is complete. */
 export const MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
 
-/**
- * Limit of the bytes of all buffered answers together, above which the next one that exceeds
- * `LARGE_ANSWER_BYTES` is dropped: a daemon has 200 MB or less.
- */
-export const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
-export const LARGE_ANSWER_BYTES = 256 * 1024;
-
 /** Events without output tokens that a stream may have, as at its end. */
 export const END_EVENTS = 8;
 
--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -113,6 +113,6 @@
     const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
     if (isSent) forwarding.verdict = 'may-have-run';
     const reason = 'the content of the request was quarantined before its answer began';
-    return [...cancelAttempts(forwarding), ...failRequest(forwarding, reason, context)];
+    return [...cancelAttempts(forwarding, context), ...failRequest(forwarding, reason, context)];
   });
 };
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -1,3 +1,4 @@
+import { removeForwarding } from './answerMemory.js';
 import { RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS, RETRY_AFTER_SHARE } from './constants.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, WholeAnswer } from './types.js';
 import type { Millis } from '../../core/clock.js';
@@ -24,11 +25,6 @@
   version: forwarding.configurationVersion,
 });
 
-/** Removes a request from those in flight; its attempts must have ended. */
-const removeRequest = (forwarding: Forwarding, { state }: RequestsContext): void => {
-  state.inFlight.delete(forwarding.request.key);
-};
-
 const countOutcome = (forwarding: Forwarding, outcome: string): GatewayEffect => ({
   kind: 'count',
   name: 'gateway_requests_total',
@@ -52,7 +48,7 @@
   const { request, route } = forwarding;
   const isNotRun = failure.verdict === 'not-run';
   const retryAfterMs = computeRetryAfter(forwarding.deadlineAt - now);
-  removeRequest(forwarding, context);
+  removeForwarding(forwarding, context.state);
   return [
     {
       kind: 'refuse',
@@ -100,7 +96,7 @@
     return refuseRequest(forwarding, createFailure(verdict, code, reason), context);
   }
   const now = context.inputs.clock.now();
-  removeRequest(forwarding, context);
+  removeForwarding(forwarding, context.state);
   return [
     { kind: 'break-answer', key: request.key },
     countOutcome(forwarding, 'stream-lost'),
@@ -152,7 +148,7 @@
   { head, body }: WholeAnswer,
   context: RequestsContext,
 ): Effects => {
-  removeRequest(forwarding, context);
+  removeForwarding(forwarding, context.state);
   return [
     { kind: 'send-whole', key: forwarding.request.key, head, body },
     ...describeFinish(forwarding, head.status, context.inputs.clock.now()),
@@ -172,7 +168,7 @@
   attempt: Attempt,
   context: RequestsContext,
 ): Effects => {
-  removeRequest(forwarding, context);
+  removeForwarding(forwarding, context.state);
   return [
     { kind: 'end-answer', key: forwarding.request.key },
     ...describeFinish(forwarding, attempt.head?.status ?? 0, context.inputs.clock.now()),
--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -12,7 +12,7 @@
 
 const send = (harness: RequestsHarness, path: string, body: string, document = 'deadly') =>
   harness.sendRequest(path, {
-    body: Buffer.from(body),
+    body: [Buffer.from(body)],
     promptParts: ['shared', document, body],
   });
 
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -1,6 +1,6 @@
 import { NO_LOAD } from './load.js';
 import { createRequestsLogic } from './requests.js';
-import type { DrainTimes } from './types.js';
+import type { DrainTimes, RequestsState } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
 import {
@@ -73,6 +73,9 @@
   readonly event: RequestsEvent;
 }
 
+/** Limit of the bytes that are kept of all answers. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+
 export const buildEngines = (): EndpointRecord[] => [
   buildEndpoint('e-1'),
   buildEndpoint('e-2', { dataCentre: 'dc-b' }),
@@ -82,6 +85,18 @@
 export const buildLedgers = (): EndpointRecord[] =>
   ['l-4', 'l-5', 'l-6'].map((id) => buildEndpoint(id, { service: 'ledger' }));
 
+/** Guards, after each event, against bytes that stay counted or are not counted. */
+const assertAnswerBytes = ({ answerBytes, inFlight }: RequestsState): void => {
+  let sum = 0;
+  for (const { attempts, fallbackAnswer } of inFlight.values()) {
+    sum += fallbackAnswer?.heldBytes ?? 0;
+    for (const { body, splitter } of attempts.values())
+      sum += body.allocatedBytes + splitter.rest.length;
+  }
+  if (sum !== answerBytes)
+    throw new Error(`${answerBytes.toString()} bytes are counted for ${sum.toString()}`);
+};
+
 /**
  * Creates the requests child and its inputs.
  *
@@ -144,10 +159,11 @@
       coldOvershoot: 1.5,
       learnWithin: { leavingMs: 2_000, dataCentreOutMs: 5_000, outageMs: 3_000 },
     }),
+    hasAnswerRoom: () => state.answerBytes <= MAX_ANSWER_BYTES,
     isLimited: (endpoint) => limits.has(endpoint),
     hasCrashes: () => quarantineState.evidence.reports.size > 0,
     checkContent: (content) => checkContent(quarantineState.evidence, content, clock.now()),
-    hashContent: ({ body, path }) => path + Buffer.from(body).toString(),
+    hashContent: ({ body, path }) => path + Buffer.concat(body).toString(),
   });
   const { state } = logic.init();
 
@@ -168,6 +184,7 @@
 
   const post = (event: RequestsEvent): readonly GatewayEffect[] => {
     const { effects } = logic.decide(state, event);
+    assertAnswerBytes(state);
     return [...effects, ...effects.flatMap(performEffect)];
   };
 
@@ -187,7 +204,7 @@
         path,
         host: 'host.example',
         headers: [],
-        body: Buffer.from('body'),
+        body: [Buffer.from('body')],
         credential: 'key-1',
         callerTimeoutMs: 39_000,
         demand: path.startsWith('/memo') || path.startsWith('/summary') ? DEMAND : null,
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -83,7 +83,7 @@
   const third = getOrder(startAnswer(harness, second, REFUSED));
   t.false([first, second].some(({ head }) => head.endpointId === third.head.endpointId));
   const effects = sendAnswer(harness, third, SIGNED_HEAD, 'done');
-  t.is(Buffer.from(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'done');
+  t.is(Buffer.concat(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'done');
 });
 
 // Guards against a `not-run` verdict when only the last attempts were refused, and an earlier one
@@ -108,7 +108,7 @@
   const effects = sendAnswer(harness, second, FAILED, 'no again');
   t.deepEqual(findAttemptOrders(effects), []);
   t.is(findEffect(effects, 'send-whole')?.head.status, 500);
-  t.is(Buffer.from(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'no again');
+  t.is(Buffer.concat(findEffect(effects, 'send-whole')?.body ?? []).toString(), 'no again');
 });
 
 // Guards against forwarding the answer of another request to the caller.
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,4 +1,5 @@
 import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
+import { removeForwarding } from './answerMemory.js';
 import { cancelAttempts, placeRequest } from './attempts.js';
 import {
   DRAIN_ACCEPT_MS,
@@ -177,9 +178,10 @@
 const cancelRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
   const { request, route } = forwarding;
   const { clock } = context.inputs;
-  context.state.inFlight.delete(request.key);
+  const cancelled = cancelAttempts(forwarding, context);
+  removeForwarding(forwarding, context.state);
   return [
-    ...cancelAttempts(forwarding),
+    ...cancelled,
     {
       kind: 'count',
       name: 'gateway_requests_total',
@@ -290,7 +292,7 @@
   inputs: RequestsInputs,
 ): ChildLogic<RequestsState, RequestsEvent, GatewayEffect> => ({
   init: () => ({
-    state: { inFlight: new Map(), budgets: new Map(), sentTimes: new Map() },
+    state: { inFlight: new Map(), answerBytes: 0, budgets: new Map(), sentTimes: new Map() },
     effects: [{ kind: 'reset-requests' }],
   }),
   decide: (state, event) => ({ state, effects: decideEvent(event, { state, inputs }) }),
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,3 +1,4 @@
+import { removeAttempt } from './answerMemory.js';
 import {
   cancelAttempts,
   openAttempt,
@@ -239,7 +240,7 @@
   context: RequestsContext,
 ): Effects => {
   const isNotRun = isProvablyNotRun(end, attempt);
-  forwarding.attempts.delete(attempt.number);
+  removeAttempt(forwarding, attempt, context.state);
   if (!isNotRun) {
     forwarding.possibleRuns += 1;
     forwarding.verdict = 'may-have-run';
@@ -285,7 +286,7 @@
 export const endForDrain = (context: RequestsContext): Effects =>
   [...context.state.inFlight.values()].flatMap((forwarding) => {
     recordPossibleRun(forwarding);
-    const cancelled = cancelAttempts(forwarding);
+    const cancelled = cancelAttempts(forwarding, context);
     const reason = 'the daemon ends before the answer is complete';
     return [...cancelled, ...failRequest(forwarding, reason, context)];
   });
@@ -308,7 +309,7 @@
       observation: { kind: 'failed' },
     },
   }));
-  const cancelled = cancelAttempts(forwarding);
+  const cancelled = cancelAttempts(forwarding, context);
   const reason = 'the deadline of the request has passed';
   return [
     ...observations,
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -1,3 +1,4 @@
+import { removeAttempt } from './answerMemory.js';
 import { openContinuation, planFromCopy, planFurtherAttempt } from './attempts.js';
 import type { AttemptPlan } from './attempts.js';
 import { CONTINUATION_OVERLAP_MS } from './constants.js';
@@ -241,7 +242,7 @@
     if (other.events > 0) {
       return [cancel, ...endAttempt(forwarding, other, toSilentEnd(other, context), context)];
     }
-    forwarding.attempts.delete(other.number);
+    removeAttempt(forwarding, other, context.state);
     if (other.phase === 'connecting') return [cancel];
     forwarding.possibleRuns += 1;
     return [cancel, ...clearUsedCopy(forwarding, winner, other.endpoint.id, context)];
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -1,3 +1,4 @@
+import { removeAttempt } from './answerMemory.js';
 import {
   cancelAttempts,
   chooseTransferTarget,
@@ -177,7 +178,7 @@
     planFromCopy(forwarding, { holder: endpoint, name: copy }, context) ??
     planFromCopy(forwarding, fallback, context);
   if (plan !== null) {
-    forwarding.attempts.delete(attempt.number);
+    removeAttempt(forwarding, attempt, context.state);
     const isBack = plan.endpoint.id === attempt.endpoint.id;
     const refused = isBack ? { refusedTargets: attempt.refusedTargets } : {};
     return [
@@ -273,12 +274,12 @@
   if (attempt.streamState !== 'ended' || findMissingPart(forwarding, attempt) !== null) {
     return failTransfer(run, transfer, 'not-running', context);
   }
-  forwarding.attempts.delete(attempt.number);
+  removeAttempt(forwarding, attempt, context.state);
   return [
     describeTransfer(run, 'finished', transfer.target),
     ...endTransfer(run),
     ...releaseCopy(attempt),
-    ...cancelAttempts(forwarding),
+    ...cancelAttempts(forwarding, context),
     ...finishStream(forwarding, attempt, context),
   ];
 };
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,6 +1,7 @@
 import type { CopyLocation } from './generationCopy.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 import type { AnswerHead, LiveSettings, RunState } from '../types.js';
+import type { ByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
@@ -64,9 +65,11 @@
   backup: EndpointRecord | null;
   phase: AttemptPhase;
   head: AnswerHead | null;
-  readonly chunks: Uint8Array[];
-  bytes: number;
+  /** Whole answer, as far as it has been received; empty for a stream. */
+  readonly body: ByteBlocks;
   splitter: SplitterState;
+  /** Bytes that the daemon keeps of the answer, as counted in `RequestsState.answerBytes`. */
+  heldBytes: number;
   lastEventAt: Millis;
   /** Newest answer of the engine about this run; null since the newest event arrived. */
   reportedRun: RunState | null;
@@ -91,7 +94,10 @@
 /** A complete answer of an endpoint. */
 export interface WholeAnswer {
   readonly head: AnswerHead;
-  readonly body: Uint8Array;
+  /** Parts of the body, in order. */
+  readonly body: readonly Uint8Array[];
+  /** Memory that the body takes. */
+  readonly heldBytes: number;
 }
 
 /** One request in flight; only the requests child updates it, in place. */
@@ -127,6 +133,8 @@
 
 export interface RequestsState {
   readonly inFlight: Map<number, Forwarding>;
+  /** Bytes that are kept of all answers: whole ones in part, and events in part. */
+  answerBytes: number;
   readonly budgets: Map<ServiceName, BudgetWindow>;
   /** Instants of the latest requests to each endpoint, oldest first. */
   readonly sentTimes: Map<EndpointId, readonly Millis[]>;
@@ -158,6 +166,8 @@
   readonly getLiveSettings: () => LiveSettings;
   /** Whether an endpoint stated a request limit in its newest answer. */
   readonly isLimited: (endpoint: EndpointId) => boolean;
+  /** Whether there is memory for `RequestsState.answerBytes`. */
+  readonly hasAnswerRoom: () => boolean;
   /** Whether any crash is known that a request may have caused. */
   readonly hasCrashes: () => boolean;
   readonly checkContent: (content: ContentFingerprints) => ContentCheck;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -11,7 +11,6 @@
 import type { PacingInputs } from './feeds/pacing.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
-import { BODY_MEMORY_SHARE } from './frontend/constants.js';
 import { createConnectionTracker } from './frontend/connections.js';
 import type { ConnectionTracker } from './frontend/connections.js';
 import { computeDrain, createGateLogic } from './frontend/gate.js';
@@ -31,6 +30,8 @@
 import { createQuarantineWrites } from './quarantine/writes.js';
 import type { QuarantineStore } from './quarantine/types.js';
 import { performEffect } from './perform.js';
+import { GATEWAY_HOLDERS } from './memory.js';
+import type { GatewayMemory } from './memory.js';
 import { listOwnTransfers, listSingleRunEndpoints, sumOwnLoads } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { createGatewaySupervisor } from './supervisor.js';
@@ -71,6 +72,8 @@
   readonly feeds: FeedReader;
   readonly engines: EngineControl;
   readonly quarantines: QuarantineStore;
+  /** Owner of the memory that others can fill, which the adapters share. */
+  readonly memory: GatewayMemory;
 }
 
 /** Parts of a gateway daemon, by their names in the container. */
@@ -101,12 +104,11 @@
 const FINGERPRINT_DIGITS = 24;
 const SEED_RANGE = 2 ** 31;
 
-const hashContent = ({ body, credential, host, path }: ForwardRequest): string =>
-  createHash(HASH_ALGORITHM)
-    .update(`${host}\n${path}\n${credential ?? ''}\n`)
-    .update(body)
-    .digest('hex')
-    .slice(0, FINGERPRINT_DIGITS);
+const hashContent = ({ body, credential, host, path }: ForwardRequest): string => {
+  const hash = createHash(HASH_ALGORITHM).update(`${host}\n${path}\n${credential ?? ''}\n`);
+  for (const part of body) hash.update(part);
+  return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
+};
 
 /** Limit of the remembered hashes: one for each pair of a limited endpoint and a daemon. */
 const MAX_REMEMBERED_HASHES = 20_000;
@@ -142,10 +144,14 @@
     addCount: metrics.addCount,
   });
 
-const buildResponders = ({ connections, events }: GatewayCradle): Responders =>
-  createResponders(connections, (error) => {
-    events.record('caller-unreadable', { data: { error: error.message } });
-  });
+const buildResponders = ({ connections, events, ports }: GatewayCradle): Responders =>
+  createResponders(
+    connections,
+    (error) => {
+      events.record('caller-unreadable', { data: { error: error.message } });
+    },
+    ports.memory.accounts['unread-answers'],
+  );
 
 const buildCallers = (cradle: GatewayCradle): CallerServer =>
   createCallerServer({
@@ -153,7 +159,10 @@
     clock: cradle.clock,
     responders: cradle.responders,
     connections: cradle.connections,
-    maxBufferedBodyBytes: cradle.settings.memoryBytes * BODY_MEMORY_SHARE,
+    memory: {
+      bodies: cradle.ports.memory.accounts['request-bodies'],
+      requests: cradle.ports.memory.accounts.requests,
+    },
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
     postDisconnect: (key) => {
@@ -168,9 +177,13 @@
   });
 
 const buildEndpoints = (cradle: GatewayCradle): EndpointClient =>
-  createEndpointClient(cradle.ports.codec, (event) => {
-    cradle.daemon.loop.post(event);
-  });
+  createEndpointClient(
+    cradle.ports.codec,
+    (event) => {
+      cradle.daemon.loop.post(event);
+    },
+    cradle.ports.memory.recordReceived,
+  );
 
 const buildPeers = (cradle: GatewayCradle): PeerSocket =>
   createPeerSocket(
@@ -208,6 +221,7 @@
           clock.now(),
         ),
       getLiveSettings: () => live.current,
+      hasAnswerRoom: () => cradle.ports.memory.accounts.answers.reserve(0) === 'reserved',
       isLimited: (endpoint) =>
         states.membership.endpoints.get(endpoint)?.limit?.requestsPerSecond != null,
       hasCrashes: () => states.quarantine.evidence.reports.size > 0,
@@ -296,6 +310,18 @@
   return daemon;
 };
 
+/** Reports each part of the daemon that could not reserve memory, with what all of them hold. */
+const reportFullMemory = ({ events, metrics, ports }: GatewayCradle): void => {
+  const { accounts, notifyFull } = ports.memory;
+  notifyFull((holder, bytes) => {
+    metrics.addCount('gateway_memory_refusals_total', { holder });
+    const reserved = GATEWAY_HOLDERS.map((name) => [name, accounts[name].getReserved()]);
+    events.record('memory-full', {
+      data: { holder, bytes, ...(Object.fromEntries(reserved) as Record<string, number>) },
+    });
+  });
+};
+
 /**
  * Wires the parts of a gateway daemon.
  *
@@ -334,5 +360,12 @@
     logics: asFunction(buildLogics).singleton(),
     daemon: asFunction(buildDaemon).singleton(),
   });
+  const {
+    ports: { memory },
+    states,
+  } = container.cradle;
+  // The requests child counts its answers itself, since it starts anew without them.
+  memory.observe('answers', () => states.requests.answerBytes);
+  reportFullMemory(container.cradle);
   return container;
 };
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -2,14 +2,22 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { createByteBudget } from './byteBudget.js';
-import type { ByteBudget } from './byteBudget.js';
 import { MAX_IDLE_MS, MAX_RESPONSE_BYTES, MAX_TOTAL_BYTES } from './constants.js';
 import type { ClientOptions } from './types.js';
+import {
+  addBlock,
+  appendChunk,
+  computeNextBlock,
+  createByteBlocks,
+  listParts,
+} from '../../core/bytes/byteBlocks.js';
+import type { ByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { Millis } from '../../core/clock.js';
 import { limitOverhead } from '../../core/http/answerLimits.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
+import type { MemoryAccount } from '../../core/memory/types.js';
 
 /** Error of a request without a response. */
 export type RequestError =
@@ -66,25 +74,46 @@
 /** Limits of the bodies of responses. */
 interface BodyLimits {
   readonly maxBytes: number;
-  readonly budget: ByteBudget;
+  readonly memory: MemoryAccount;
 }
 
 /** Body of a response while it is received. */
 interface ReceivedBody {
-  readonly chunks: Uint8Array[];
-  size: number;
+  readonly content: ByteBlocks;
+  reserved: number;
 }
 
-const addChunk = (
-  body: ReceivedBody,
-  chunk: Uint8Array,
-  { budget, maxBytes }: BodyLimits,
-): void => {
-  if (body.size + chunk.length > maxBytes) throw new Error('the response is too large');
-  if (budget.take(chunk.length) === 'spent')
+const takeBytes = (body: ReceivedBody, bytes: number, { memory }: BodyLimits): void => {
+  if (memory.reserve(bytes) === 'full')
     throw new Error('the responses that are being received are too large together');
-  body.size += chunk.length;
-  body.chunks.push(chunk);
+  body.reserved += bytes;
+};
+
+/** Reserves a body with a stated length in one block, so that it need not be joined. */
+const openBody = (response: IncomingMessage, body: ReceivedBody, limits: BodyLimits): void => {
+  const length = Number(response.headers['content-length'] ?? 0);
+  if (!(length > 0)) return;
+  if (length > limits.maxBytes) throw new Error('the response is too large');
+  takeBytes(body, length, limits);
+  addBlock(body.content, length);
+};
+
+const addChunk = (body: ReceivedBody, chunk: Uint8Array, limits: BodyLimits): void => {
+  const { content } = body;
+  if (content.length + chunk.length > limits.maxBytes) throw new Error('the response is too large');
+  const next = computeNextBlock(content, chunk.length);
+  if (next > 0) takeBytes(body, next, limits);
+  appendChunk(content, chunk);
+};
+
+/** Joins a body that came in several blocks, which takes its memory a second time. */
+const joinBody = (body: ReceivedBody, limits: BodyLimits): Uint8Array => {
+  const parts = listParts(body.content);
+  const [first] = parts;
+  if (first === undefined) return new Uint8Array();
+  if (parts.length === 1) return first;
+  takeBytes(body, body.content.length, limits);
+  return Buffer.concat(parts);
 };
 
 const readResponse = async (
@@ -93,15 +122,16 @@
   limits: BodyLimits,
 ): Promise<HttpResponse> => {
   try {
+    openBody(response, body, limits);
     for await (const chunk of response as AsyncIterable<Uint8Array>) addChunk(body, chunk, limits);
     return {
       status: response.statusCode ?? 0,
       headers: response.headers,
       retryAfterMs: parseRetryAfter(response.headers['retry-after'], Date.now()),
-      body: Buffer.concat(body.chunks),
+      body: joinBody(body, limits),
     };
   } finally {
-    limits.budget.release(body.size);
+    limits.memory.release(body.reserved);
   }
 };
 
@@ -134,14 +164,14 @@
   const serviceUrl = new URL(options.baseUrl);
   const limits: BodyLimits = {
     maxBytes: options.maxResponseBytes ?? MAX_RESPONSE_BYTES,
-    budget: options.budget ?? createByteBudget(MAX_TOTAL_BYTES),
+    memory: options.memory ?? createMemoryAccount(MAX_TOTAL_BYTES),
   };
 
   const sendRequest = (outgoing: HttpRequest): Promise<Result<HttpResponse, RequestError>> =>
     new Promise((resolve) => {
       const { method, path, signal, waitMs = 0, timeoutMs = options.timeoutMs } = outgoing;
       const body = encodeBody(outgoing);
-      const received: ReceivedBody = { chunks: [], size: 0 };
+      const received: ReceivedBody = { content: createByteBlocks(), reserved: 0 };
       let connection: 'none' | 'established' = 'none';
       let phase: 'pending' | 'settled' = 'pending';
       const client = openRequest({
@@ -170,7 +200,7 @@
       };
       limitOverhead(
         client,
-        () => received.size,
+        () => received.content.length,
         (message) => client.destroy(new Error(message)),
       );
       client.on('socket', (socket) => {
--- a/packages/platform/client/types.ts
+++ b/packages/platform/client/types.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'ts-results-es';
-import type { ByteBudget } from './byteBudget.js';
 import type { Millis } from '../../core/clock.js';
 import type { Offset } from '../../core/ids.js';
+import type { MemoryAccount } from '../../core/memory/types.js';
 import type { Failure } from '../../core/verdict.js';
 import type { AppendResult } from '../../decisions/idempotency/types.js';
 
@@ -12,8 +12,8 @@
   readonly timeoutMs: Millis;
   /** Limit of the body of one response; `MAX_RESPONSE_BYTES` if not given. */
   readonly maxResponseBytes?: number;
-  /** Limit of all bodies that are being received; `MAX_TOTAL_BYTES` of its own if not given. */
-  readonly budget?: ByteBudget;
+  /** Memory of all bodies that are being received; `MAX_TOTAL_BYTES` of its own if not given. */
+  readonly memory?: MemoryAccount;
 }
 
 /** One record of a stream as the log returns it; its body has not been validated. */
