Keep no long texts of callers beyond their requests

Seen: a gateway ends by itself for lack of heap after some thousand requests with long ids, and all requests on it end with it.

Cause: the newest 8,192 events are kept with the texts of their requests as they were received, heads of up to 64 KB.

Why this works: what outlives its request no longer refers to what was received.

--- a/packages/core/events/eventLog.ts
+++ b/packages/core/events/eventLog.ts
@@ -1,9 +1,10 @@
 import { EVENT_CATALOGUE } from './catalogue.js';
 import type { EventName } from './catalogue.js';
-import { EVENT_RING_CAPACITY } from './constants.js';
+import { EVENT_RING_CAPACITY, MAX_EVENT_TEXT_LENGTH } from './constants.js';
 import type { EventDetails, LoggedEvent, ProcessRole } from './types.js';
 import type { Clock } from '../clock.js';
 import type { Incarnation } from '../ids.js';
+import { limitText } from '../limitText.js';
 
 /** Log of the events of one process. */
 export interface EventLog {
@@ -23,6 +24,30 @@
   readonly capacity?: number;
 }
 
+type EventValue = NonNullable<EventDetails['data']>[string];
+
+const limitValue = (value: EventValue): EventValue => {
+  if (typeof value === 'string') return limitText(value, MAX_EVENT_TEXT_LENGTH);
+  if (typeof value !== 'object') return value;
+  return value.map((text) => limitText(text, MAX_EVENT_TEXT_LENGTH));
+};
+
+/** Limits what callers and endpoints choose, since the buffered events outlive their requests. */
+const limitDetails = (details: EventDetails): EventDetails => {
+  const { data, requestId } = details;
+  return {
+    ...details,
+    ...(requestId === undefined ? {} : { requestId: limitText(requestId, MAX_EVENT_TEXT_LENGTH) }),
+    ...(data === undefined
+      ? {}
+      : {
+          data: Object.fromEntries(
+            Object.entries(data).map(([name, value]) => [name, limitValue(value)]),
+          ),
+        }),
+  };
+};
+
 /**
  * Creates the event log of a process: a bounded ring buffer for the time line, and a writer for the
  * log output.
@@ -46,7 +71,7 @@
         process: options.process,
         role: options.role,
         incarnation: options.incarnation,
-        ...details,
+        ...limitDetails(details),
       };
       ring[sequence % capacity] = event;
       sequence += 1;
--- a/packages/decisions/forwarding/eventSplitter.ts
+++ b/packages/decisions/forwarding/eventSplitter.ts
@@ -1,4 +1,5 @@
 import { MAX_EVENT_BYTES } from './constants.js';
+import { limitText } from '../../core/limitText.js';
 
 /** A complete event of a stream, as the bytes that were received. */
 export interface StreamEvent {
@@ -43,8 +44,10 @@
   return -1;
 };
 
-const parseId = (bytes: Uint8Array): string | null =>
-  ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.[1]?.trimEnd() ?? null;
+const parseId = (bytes: Uint8Array): string | null => {
+  const id = ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.[1]?.trimEnd();
+  return id === undefined ? null : limitText(id, MAX_EVENT_BYTES);
+};
 
 /**
  * Reports whether bytes of a stream have comments and blank lines only, as endpoints send them to
