Collect what is freed on another thread, and reserve bodies as they arrive

Cause: V8 frees buffers on another thread and counts that at the next collection, so that the budget took garbage for memory in use and collected too late. Callers that state long bodies and send nothing would also have taken the room of all others.

Blocks have the size of the chunks that a connection is read in, so that the memory of the process does not become fragmented. A body is compared with what is left by its stated length, and reserved as it arrives. The shares keep 110 MB for the daemon itself, and 0.4 of the rest is common.

Test: requestBodies.test.ts, "a body that has not been sent takes no room" and "a body is refused by its stated length before it is sent".

--- a/packages/core/bytes/byteBlocks.test.ts
+++ b/packages/core/bytes/byteBlocks.test.ts
@@ -31,7 +31,7 @@
     const { allocatedBytes, blocks, length } = build(chunks);
     t.is(length, bytes.length);
     t.true(allocatedBytes <= 2 * bytes.length + 4_096, size.toString());
-    t.true(blocks.length <= 20, size.toString());
+    t.true(blocks.length <= 12, size.toString());
   }
 });
 
--- a/packages/core/bytes/byteBlocks.ts
+++ b/packages/core/bytes/byteBlocks.ts
@@ -1,9 +1,10 @@
 /**
  * Size of the blocks in bytes. The first ones are smaller, so that what is not filled of a block is
- * less than what is.
+ * less than what is. Larger ones have the size of the chunks that a connection is read in: memory that
+ * one of them leaves then fits the next, and the memory of the process does not become fragmented.
  */
 const MIN_BLOCK_BYTES = 4 * 1024;
-const MAX_BLOCK_BYTES = 256 * 1024;
+const MAX_BLOCK_BYTES = 64 * 1024;
 
 /**
  * Bytes that arrive in chunks, in blocks that are never joined. The chunks are copied: many small ones
--- a/packages/core/memory/managedMemory.ts
+++ b/packages/core/memory/managedMemory.ts
@@ -11,12 +11,16 @@
 export const openManagedMemory = (): ManagedMemory => {
   // Contexts that are created from here on have the function, also without the flag at the start.
   setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
+  const collectGarbage = runInNewContext('gc') as (options?: { readonly type: 'minor' }) => void;
   return {
     readUsedBytes: () => {
       const { external_memory, used_heap_size } = getHeapStatistics();
       return used_heap_size + external_memory;
     },
-    collect,
+    collect: () => {
+      collectGarbage();
+      // Buffers are freed by another thread; the next collection waits for it and counts them.
+      collectGarbage({ type: 'minor' });
+    },
   };
 };
--- a/packages/core/memory/memoryBudget.test.ts
+++ b/packages/core/memory/memoryBudget.test.ts
@@ -10,7 +10,7 @@
   caps: {},
 };
 
-const createHarness = (memoryBytes = 205 * MEBIBYTE) => {
+const createHarness = (memoryBytes = 210 * MEBIBYTE) => {
   let used = 0;
   let collections = 0;
   const budget = createMemoryBudget({
@@ -62,7 +62,7 @@
 // Guards against a holder that is limited by something else, as the heap, and takes common memory.
 test('a holder without a share of the common memory keeps to its own, and to its cap', (t) => {
   const { accounts } = createMemoryBudget<'bodies' | 'answers'>({
-    memoryBytes: 205 * MEBIBYTE,
+    memoryBytes: 210 * MEBIBYTE,
     weights: { ...WEIGHTS, sharers: ['bodies'], caps: { answers: 10 * MEBIBYTE } },
     memory: { readUsedBytes: () => 0, collect: () => undefined },
   });
--- a/packages/core/memory/memoryBudget.ts
+++ b/packages/core/memory/memoryBudget.ts
@@ -6,22 +6,22 @@
  * Memory of a daemon without what others make it keep: the program (about 45 MB), its threads and
  * libraries, its own state, and garbage that has not been collected.
  */
-const OWN_BYTES = 105 * MEBIBYTE;
+const OWN_BYTES = 110 * MEBIBYTE;
 
 /** Share of the memory that may be filled on machines that have hardly more than `OWN_BYTES`. */
 const MIN_FILLABLE_SHARE = 0.2;
 
-/** Bytes that are received or reserved between two checks of the memory in use. */
+/** Bytes that are received, reserved or released between two checks of the memory in use. */
 const CHECK_BYTES = MEBIBYTE;
 
 /** Garbage above which a collection is due, if the memory in use exceeds `PRESSURE_SHARE`. */
-const MAX_GARBAGE_BYTES = 10 * MEBIBYTE;
+const MAX_GARBAGE_BYTES = 8 * MEBIBYTE;
 
 /**
  * Share of the memory of the machine that may be in use before the daemon collects by itself. Below
  * it, the garbage collector's own pace is enough and costs less.
  */
-const PRESSURE_SHARE = 0.35;
+const PRESSURE_SHARE = 0.3;
 
 /** Weights of the memory that others may fill. */
 export interface MemoryWeights<Holder extends string> {
@@ -133,7 +133,7 @@
     ownUsedBytes = Math.max(0, memory.readUsedBytes() - sumReserved());
   };
 
-  const recordReceived = (bytes: number): void => {
+  const recordBytes = (bytes: number): void => {
     uncheckedBytes += bytes;
     if (uncheckedBytes < CHECK_BYTES) return;
     uncheckedBytes = 0;
@@ -158,7 +158,7 @@
     return {
       limitBytes: sharing === 'common' ? ownBytes + limits.common : ownBytes,
       reserve: (bytes) => {
-        recordReceived(bytes);
+        recordBytes(bytes);
         if (!hasRoom(holding, getReserved(holding) + bytes)) {
           for (const handle of handlers) handle(holder, bytes);
           return 'full';
@@ -168,6 +168,7 @@
       },
       release: (bytes) => {
         holding.reserved -= bytes;
+        recordBytes(bytes);
       },
       getReserved: () => getReserved(holding),
     };
@@ -181,7 +182,7 @@
       const holding = holdings.get(holder);
       if (holding !== undefined) holding.readBytes = readBytes;
     },
-    recordReceived,
+    recordReceived: recordBytes,
     notifyFull: (handler) => {
       handlers.push(handler);
     },
--- a/packages/gateway/frontend/requestBodies.test.ts
+++ b/packages/gateway/frontend/requestBodies.test.ts
@@ -50,6 +50,34 @@
   t.is(sumLengths((await server.waitForRequest('e')).body), LARGE_BODY.length);
 });
 
+// Guards against callers that state long bodies and send nothing: they would take the room of all others.
+test('a body that has not been sent takes no room', async (t) => {
+  const server = await startCallerServer(t);
+  for (const id of ['a', 'b', 'c']) {
+    const silent = server.openCaller();
+    silent.send(formatRequest(id, 'x', LARGE_BODY.length));
+    await new Promise(setImmediate);
+  }
+  const last = server.openCaller();
+  last.send(formatRequest('d', LARGE_BODY));
+  t.is(sumLengths((await server.waitForRequest('d')).body), LARGE_BODY.length);
+});
+
+// Guards against a caller that sends a long body for nothing, as its length alone exceeds what is left.
+test('a body is refused by its stated length before it is sent', async (t) => {
+  const server = await startCallerServer(t);
+  const first = server.openCaller();
+  first.send(formatRequest('a', LARGE_BODY));
+  await server.waitForRequest('a');
+  const second = server.openCaller();
+  second.send(formatRequest('b', '', LARGE_BODY.length));
+  await second.waitForText('overloaded');
+  const third = server.openCaller();
+  third.send(formatRequest('c', '', 100_000_000));
+  await third.waitForText('too-large');
+  t.pass();
+});
+
 // Guards against a body that is altered when it is collected, with a length and with chunks.
 test('a body is passed on byte by byte', async (t) => {
   const server = await startCallerServer(t);
--- a/packages/gateway/frontend/requestBodies.ts
+++ b/packages/gateway/frontend/requestBodies.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from 'node:http';
 import {
-  addBlock,
   appendChunk,
   computeNextBlock,
   createByteBlocks,
@@ -49,6 +48,16 @@
   };
 };
 
+/**
+ * Reports whether a body would fit now. It is reserved as it arrives: a caller that states a length and
+ * sends nothing must not take the room of others.
+ */
+const hasRoom = (account: MemoryAccount, bytes: number): boolean => {
+  if (account.reserve(bytes) === 'full') return false;
+  account.release(bytes);
+  return true;
+};
+
 /** Returns the stated length of a body; 0 for one in chunks, or without one. */
 const readStatedLength = ({ headers }: IncomingMessage): number => {
   const length = Number(headers['content-length'] ?? 0);
@@ -58,7 +67,7 @@
 /**
  * Creates the reader of request bodies. The memory of a body is reserved before it is kept, and stays
  * reserved until its request has ended, since a retry sends it again. A body with a stated length is
- * refused before it is read if there is no room for it.
+ * refused before it is read if there is no room for it now.
  *
  * @param account - memory for all bodies
  * @param initialMaxBodyBytes - size limit of one body at first
@@ -101,12 +110,9 @@
         settle({ kind: 'too-large' });
         return;
       }
-      if (statedLength > 0) {
-        if (memory.reserve(statedLength) === 'full') {
-          settle({ kind: 'no-room' });
-          return;
-        }
-        addBlock(body, statedLength);
+      if (!hasRoom(account, statedLength)) {
+        settle({ kind: 'no-room' });
+        return;
       }
       incoming.on('data', addChunk);
       incoming.on('end', () => {
--- a/packages/gateway/memory.ts
+++ b/packages/gateway/memory.ts
@@ -22,14 +22,14 @@
 
 const WEIGHTS: MemoryWeights<GatewayHolder> = {
   own: {
-    'request-bodies': 25,
-    requests: 13,
-    answers: 12,
-    'unread-answers': 8,
+    'request-bodies': 20,
+    requests: 12,
+    answers: 9,
+    'unread-answers': 6,
     'control-answers': 4,
     'store-answers': 9,
   },
-  common: 29,
+  common: 40,
   // Control calls and reads of the store are tried again, and open requests are limited by the heap.
   sharers: ['request-bodies', 'answers', 'unread-answers'],
   caps: { requests: MAX_REQUEST_HEAP_BYTES },
