Limit the bodies of all requests in an entry daemon together

Cause: only the number of requests and the size of one body were limited.

Change: bodies are read within limits.maxTotalBodyBytes (64 MB), and one that has no room is refused as not run. The reader of the gateway moves to core/http, and both daemons use it.

--- a/packages/gateway/frontend/requestBodies.ts
+++ b/packages/core/http/requestBodies.ts
@@ -1,11 +1,6 @@
 import type { IncomingMessage } from 'node:http';
-import {
-  appendChunk,
-  computeNextBlock,
-  createByteBlocks,
-  listParts,
-} from '../../core/bytes/byteBlocks.js';
-import type { MemoryAccount } from '../../core/memory/types.js';
+import { appendChunk, computeNextBlock, createByteBlocks, listParts } from '../bytes/byteBlocks.js';
+import type { MemoryAccount } from '../memory/types.js';
 
 /** How the body of a request ended. */
 export type BodyResult =
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import fastify from 'fastify';
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { Err, Ok } from 'ts-results-es';
@@ -10,8 +11,11 @@
 import type { Responders } from './responders.js';
 import { findServiceRoute } from './serviceRoutes.js';
 import type { Clock } from '../../core/clock.js';
+import { createRequestBodies } from '../../core/http/requestBodies.js';
+import type { RequestBodies } from '../../core/http/requestBodies.js';
 import { createId } from '../../core/ids.js';
 import type { ModelName } from '../../core/ids.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { toResumeRefusal } from '../../decisions/streams/verdicts.js';
@@ -80,15 +84,22 @@
 export const createCallerServer = (options: CallerServerOptions): FastifyInstance => {
   const { settings, clock, responders } = options;
   const customers = createKeyTable<Customer>(settings.customers);
+  const { maxBodyBytes, maxTotalBodyBytes } = settings.limits;
+  const bodies = createRequestBodies(createMemoryAccount(maxTotalBodyBytes), maxBodyBytes);
   const server = fastify({
-    bodyLimit: settings.limits.maxBodyBytes,
+    bodyLimit: maxBodyBytes,
     forceCloseConnections: 'idle',
     requestIdHeader: false,
   });
   server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
-    done(null, body);
+  const responses = new WeakMap<IncomingMessage, ServerResponse>();
+  server.addHook('onRequest', (request, reply, done) => {
+    responses.set(request.raw, reply.raw);
+    done();
   });
+  server.addContentTypeParser('*', async ({ raw }: FastifyRequest) =>
+    readBody(raw, responses.get(raw), bodies),
+  );
 
   const readRequestId = (request: FastifyRequest): string => {
     const callerRequestId = readCallerRequestId(request);
@@ -218,11 +229,40 @@
   return server;
 };
 
+/** Codes of the errors of bodies that were not read whole; the error handler refuses the request. */
+const BODY_ERROR_CODES = {
+  'too-large': 'BODY_TOO_LARGE',
+  'no-room': 'BODY_NO_ROOM',
+  broken: 'BODY_BROKEN',
+} as const;
+
+/** Reads a body, whose memory stays reserved until the answer to its request has ended. */
+const readBody = async (
+  incoming: IncomingMessage,
+  response: ServerResponse | undefined,
+  bodies: RequestBodies,
+): Promise<Buffer> => {
+  const result = await bodies.read(incoming);
+  if (result.kind !== 'whole')
+    throw Object.assign(new Error(`the body is ${result.kind}`), {
+      code: BODY_ERROR_CODES[result.kind],
+    });
+  if (response === undefined || response.closed) result.release();
+  else response.once('close', result.release);
+  return Buffer.concat(result.body);
+};
+
+const BODIES_RETRY_AFTER_MS = 200;
+
 const toRequestFailure = (error: FastifyError, maxBodyBytes: number): Failure => {
-  if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
+  if (error.code === BODY_ERROR_CODES['too-large']) {
     const message = `body: it is larger than ${maxBodyBytes.toString()} bytes`;
     return createFailure('not-run', 'too-large', message);
   }
+  if (error.code === BODY_ERROR_CODES['no-room']) {
+    const message = 'the bodies of all requests in progress are too large together';
+    return createFailure('not-run', 'overloaded', message, BODIES_RETRY_AFTER_MS);
+  }
   const isClientError = error.statusCode !== undefined && error.statusCode < 500;
   return createFailure('not-run', isClientError ? 'bad-request' : 'internal', error.message);
 };
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -9,9 +9,9 @@
   STRING_OVERHEAD_BYTES,
 } from './constants.js';
 import { createIdleConnections } from './idleConnections.js';
-import { createRequestBodies } from './requestBodies.js';
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
+import { createRequestBodies } from '../../core/http/requestBodies.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { MemoryAccount } from '../../core/memory/types.js';
--- a/packages/settings/constants.ts
+++ b/packages/settings/constants.ts
@@ -4,6 +4,8 @@
 export const DEFAULT_DRAIN_MS: Millis = 30_000;
 /** Largest request body of a caller, in bytes. */
 export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Total size of the bodies of requests in progress, in bytes. */
+export const DEFAULT_MAX_TOTAL_BODY_BYTES = 67_108_864;
 /** Twice the 2,000 streams that one entry daemon has to carry. */
 export const DEFAULT_MAX_REQUESTS = 4_096;
 /** Waiting requests per class. */
--- a/packages/settings/entrySchema.ts
+++ b/packages/settings/entrySchema.ts
@@ -3,6 +3,7 @@
   DEFAULT_DRAIN_MS,
   DEFAULT_KEY_WINDOW_MS,
   DEFAULT_MAX_BODY_BYTES,
+  DEFAULT_MAX_TOTAL_BODY_BYTES,
   DEFAULT_MAX_REQUESTS,
   DEFAULT_MAX_TIMED_KEYS,
   DEFAULT_MAX_UNTIMED_KEYS,
@@ -97,6 +98,10 @@
 const LIMITS_SCHEMA = z
   .strictObject({
     maxBodyBytes: buildCountSchema(DEFAULT_MAX_BODY_BYTES, 'Largest request body, in bytes.'),
+    maxTotalBodyBytes: buildCountSchema(
+      DEFAULT_MAX_TOTAL_BODY_BYTES,
+      'Largest total size of the bodies of requests in progress, in bytes; further ones are refused.',
+    ),
     maxRequests: buildCountSchema(
       DEFAULT_MAX_REQUESTS,
       'Largest number of requests in progress; further ones are shed.',
