Limit the rate of the lines on full memory

Lines at the level of warnings are never left out, and a gateway whose memory is full writes one for each request that it refuses. At the level info they are limited to 200 a second, and the counter has them all.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -353,7 +353,7 @@
   },
   'memory-full': {
     number: 1009,
-    level: 'warn',
+    level: 'info',
     text: 'A part of the daemon could not reserve memory, and refuses or ends a request or a call.',
   },
   'effect-failed': {
