Pass on no request of a caller that left while the daemon was late

Cause, by the code: a daemon that was paused or busy reads a request and the end of its connection at the same time, takes the request for new, and passes it on if the worker's connection is reported before the end of the caller's.

In time, nothing changes.

Why this works: timers run before sockets are read, so the pause is known before the first request after it, and the end of a connection that has arrived is read within two turns of the loop.

Test: frontend/callerServer.test.ts, "a late daemon does not pass on the request of a caller that has left", which fails without the check.

--- a/packages/core/loop/loop.test.ts
+++ b/packages/core/loop/loop.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { LATE_TIMER_MS } from './constants.js';
 import { createLoop } from './loop.js';
 import type { QueueClass } from './types.js';
 
@@ -70,3 +71,16 @@
   loop.stop();
   t.deepEqual(handled, []);
 });
+
+// Guards against a pause of the process that nothing notices, so that what arrived meanwhile is taken
+// for new.
+test('a loop is late after a pause', async (t) => {
+  const handled: number[] = [];
+  const loop = createItemLoop(handled, 4);
+  loop.schedule(1, { queueClass: 'control', id: 1 });
+  t.false(loop.isLate());
+  const until = performance.now() + LATE_TIMER_MS + 50;
+  while (performance.now() < until);
+  while (handled.length === 0) await new Promise(setImmediate);
+  t.true(loop.isLate());
+});
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -1,4 +1,10 @@
-import { MAX_EVENTS_PER_BATCH, MAX_TIMER_MS, NEW_REQUEST_QUEUE_SHARE } from './constants.js';
+import {
+  LATE_FOR_MS,
+  LATE_TIMER_MS,
+  MAX_EVENTS_PER_BATCH,
+  MAX_TIMER_MS,
+  NEW_REQUEST_QUEUE_SHARE,
+} from './constants.js';
 import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
 import { assertNever } from '../assertNever.js';
 import type { Millis } from '../clock.js';
@@ -40,6 +46,8 @@
   let head = 0;
   let state: 'idle' | 'scheduled' | 'stopped' = 'idle';
   const timers = new Set<NodeJS.Timeout>();
+  /** Instant at which a timer was noticed to be late. */
+  let lateAt = -Infinity;
 
   const getDepth = (): number => queue.length - head;
 
@@ -80,13 +88,14 @@
   };
 
   const schedule = (delay: Millis, event: Event): Timer => {
-    const handle = setTimeout(
-      () => {
-        timers.delete(handle);
-        post(event);
-      },
-      Math.min(Math.max(0, delay), MAX_TIMER_MS),
-    );
+    const delayMs = Math.min(Math.max(0, delay), MAX_TIMER_MS);
+    const dueAt = performance.now() + delayMs;
+    const handle = setTimeout(() => {
+      timers.delete(handle);
+      const now = performance.now();
+      if (now - dueAt > LATE_TIMER_MS) lateAt = now;
+      post(event);
+    }, delayMs);
     timers.add(handle);
     return {
       cancel: () => {
@@ -104,5 +113,7 @@
     timers.clear();
   };
 
-  return { post, schedule, getDepth, stop };
+  const isLate = (): boolean => performance.now() - lateAt < LATE_FOR_MS;
+
+  return { post, schedule, isLate, getDepth, stop };
 };
--- a/packages/core/loop/types.ts
+++ b/packages/core/loop/types.ts
@@ -18,6 +18,11 @@
   readonly post: (event: Event) => PostResult;
   /** Posts an event after a delay in milliseconds; a negative delay counts as 0. */
   readonly schedule: (delay: Millis, event: Event) => Timer;
+  /**
+   * Reports whether a timer was late just now, because the process was busy or paused: what arrived
+   * meanwhile is read in no particular order.
+   */
+  readonly isLate: () => boolean;
   /** Returns the number of queued events. */
   readonly getDepth: () => number;
   /** Drops the queued events, cancels all timers and accepts no further events. */
--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -61,6 +61,10 @@
   readonly perform: (effect: GatewayEffect) => void;
   readonly setVersion: (version: number) => void;
   readonly setGate: (state: GateState) => void;
+  /** Makes the daemon late, as after a pause. */
+  readonly setLate: () => void;
+  /** Lists the ids of the requests that have been passed on to the decisions. */
+  readonly listArrivals: () => readonly string[];
   readonly closeServer: () => void;
   readonly openCaller: () => TestCaller;
   /** Resolves with the request once it has been read completely. */
@@ -191,6 +195,7 @@
   const requests = createArrivals<ForwardRequest>();
   let version = 1;
   let gate: GateState = { phase: 'accepting' };
+  let lateness: 'late' | 'in-time' = 'in-time';
   const connections = createConnectionTracker({
     clock,
     getConfigurationVersion: () => version,
@@ -219,6 +224,7 @@
       bodies: createMemoryAccount(MAX_BUFFERED_BODY_BYTES),
       requests: createMemoryAccount(MAX_REQUEST_BYTES),
     },
+    isLate: () => lateness === 'late',
     postArrival: (request) => {
       requests.add(request);
       return 'queued';
@@ -259,6 +265,10 @@
     setGate: (state) => {
       gate = state;
     },
+    setLate: () => {
+      lateness = 'late';
+    },
+    listArrivals: () => requests.values.map(({ id }) => id),
     closeServer: () => {
       callers.close();
     },
--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { createCallerServer } from './callerServer.js';
-import { createTestConnections } from './callerServer.fixture.js';
+import { createTestConnections, formatRequest, startCallerServer } from './callerServer.fixture.js';
 import { createResponders } from './responders.js';
 import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import { CODEC } from '../endpoints/endpointClient.fixture.js';
@@ -23,6 +23,7 @@
     connections,
     memory: { bodies: memory, requests: memory },
     responders: createResponders(connections, () => undefined, memory),
+    isLate: () => false,
     postArrival: () => 'queued',
     postDisconnect: () => undefined,
     onFault: (error) => {
@@ -39,3 +40,17 @@
   await t.throwsAsync(fetch(url));
   t.is(faults.length, 2);
 });
+
+// Guards against requests that a daemon passes on after a pause although their callers have left: it
+// reads the request and the end of the connection at the same time (GONE).
+test('a late daemon does not pass on the request of a caller that has left', async (t) => {
+  const harness = await startCallerServer(t);
+  harness.setLate();
+  const gone = harness.openCaller();
+  gone.socket.end(formatRequest('gone', 'body'));
+  await gone.waitForClose();
+  const present = harness.openCaller();
+  present.send(formatRequest('present', 'body'));
+  await harness.waitForRequest('present');
+  t.deepEqual(harness.listArrivals(), ['present']);
+});
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -29,6 +29,8 @@
   /** Interval of checking the header timeout; that of the HTTP server by default. */
   readonly headerCheckMs?: Millis;
   readonly memory: CallerMemory;
+  /** Whether the daemon was busy or paused just now, so that its callers may have left meanwhile. */
+  readonly isLate: () => boolean;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
   /** Receives an unexpected error, which ends one request. */
@@ -96,6 +98,14 @@
   return code.startsWith('HPE_') && code !== INCOMPLETE_CODE ? 'unreadable' : 'caller';
 };
 
+/** Reports whether a caller has closed its connection, once all that it has sent has been read. */
+const hasLeft = ({ socket }: IncomingMessage): Promise<boolean> =>
+  new Promise((resolve) => {
+    runAfterReads(() => {
+      resolve(socket.destroyed || socket.readableEnded);
+    });
+  });
+
 const runOnceClosed = (response: ServerResponse, run: () => void): void => {
   if (response.closed) run();
   else response.once('close', run);
@@ -171,6 +181,10 @@
       responders.remove(key);
       return;
     }
+    if (options.isLate() && (await hasLeft(incoming))) {
+      responders.remove(key);
+      return;
+    }
     response.on('close', () => {
       if (responders.has(key)) options.postDisconnect(key);
     });
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -163,6 +163,7 @@
       bodies: cradle.ports.memory.accounts['request-bodies'],
       requests: cradle.ports.memory.accounts.requests,
     },
+    isLate: () => cradle.daemon.loop.isLate(),
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
     postDisconnect: (key) => {
