Leave room for about 900 open requests on the smallest machine

Cause: with 0.12 of the memory that others can fill, a gateway of 200 MB would refuse requests from about 600 open ones on; at the target size a gateway has 36 requests a second, most of them streams of 8 s and more.

Change: 0.18, from the common memory and the least shares of answers.

--- a/packages/gateway/memory.ts
+++ b/packages/gateway/memory.ts
@@ -23,13 +23,13 @@
 const WEIGHTS: MemoryWeights<GatewayHolder> = {
   own: {
     'request-bodies': 20,
-    requests: 12,
-    answers: 9,
-    'unread-answers': 6,
+    requests: 18,
+    answers: 8,
+    'unread-answers': 5,
     'control-answers': 4,
     'store-answers': 9,
   },
-  common: 40,
+  common: 36,
   // Control calls and reads of the store are tried again, and open requests are limited by the heap.
   sharers: ['request-bodies', 'answers', 'unread-answers'],
   caps: { requests: MAX_REQUEST_HEAP_BYTES },
