Log what decides each further attempt of a request

The logs could not tell whether a retry was permitted by an empty window of a new process, by a part of the slack that is too large, or by requests of this process (docs/incidents/budget-restarted-gateways.md, hypotheses 1 and 2).

Each decision of the retry budget writes one line (2033, retry-decided) with its purpose and outcome, the number of daemons that share the slack, the requests and retries in the window and the age of the window, and is counted by service, purpose and outcome. No decision changes.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -381,6 +381,11 @@
     level: 'info',
     text: 'The requests that the end of the process left without a complete answer.',
   },
+  'retry-decided': {
+    number: 2033,
+    level: 'info',
+    text: 'The retry budget permitted a further attempt or did not; the data lists what decided it.',
+  },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
--- a/packages/decisions/forwarding/retryBudget.test.ts
+++ b/packages/decisions/forwarding/retryBudget.test.ts
@@ -8,7 +8,7 @@
 const takeAllRetries = (daemons: number): number => {
   const window = createBudgetWindow();
   let taken = 0;
-  while (takeRetry(window, SETTINGS, daemons, 0) === 'taken') taken += 1;
+  while (takeRetry(window, SETTINGS, daemons, 0).outcome === 'taken') taken += 1;
   return taken;
 };
 
@@ -31,7 +31,7 @@
       if (!isRetry) {
         countRequest(window, SETTINGS, now);
         requests.push(now);
-      } else if (takeRetry(window, SETTINGS, 1, now) === 'taken') retries.push(now);
+      } else if (takeRetry(window, SETTINGS, 1, now).outcome === 'taken') retries.push(now);
     }
     for (const end of retries) {
       const inWindow = (at: number): boolean => at <= end && at > end - SETTINGS.windowMs * 0.95;
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -56,6 +56,15 @@
   findBucket(window, settings, now).requests += 1;
 };
 
+/** Decision on one retry, and what decided it. */
+export interface RetryDecision {
+  /** `spent` when this daemon's share is used up. */
+  readonly outcome: 'taken' | 'spent';
+  /** Requests and retries in the window before this retry. */
+  readonly requests: number;
+  readonly retries: number;
+}
+
 /**
  * Consumes one retry of this daemon's share of the budget; a hedge counts as a retry. The fixed
  * slack is divided by the number of daemons, since no daemon sees the retries of the others in time.
@@ -64,20 +73,20 @@
  * @param settings - limits of the budget
  * @param daemons - number of daemons that share the slack
  * @param now - current instant
- * @returns `taken`, or `spent` when this daemon's share is used up
+ * @returns the decision
  */
 export const takeRetry = (
   window: BudgetWindow,
   settings: RetryBudgetSettings,
   daemons: number,
   now: Millis,
-): 'taken' | 'spent' => {
+): RetryDecision => {
   const bucket = findBucket(window, settings, now);
   const requests = window.buckets.reduce((sum, { requests: count }) => sum + count, 0);
   const retries = window.buckets.reduce((sum, { retries: count }) => sum + count, 0);
   const allowed =
     BUDGET_UTILIZATION * (requests * settings.ratio + settings.slack / Math.max(1, daemons));
-  if (retries + 1 > allowed) return 'spent';
+  if (retries + 1 > allowed) return { outcome: 'spent', requests, retries };
   bucket.retries += 1;
-  return 'taken';
+  return { outcome: 'taken', requests, retries };
 };
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -71,6 +71,7 @@
   requests: {
     inFlight: new Map(),
     answerBytes: 0,
+    startedAt: 0,
     budgets: new Map(),
     sentTimes: new Map<string, number[]>(),
   },
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -292,7 +292,13 @@
   inputs: RequestsInputs,
 ): ChildLogic<RequestsState, RequestsEvent, GatewayEffect> => ({
   init: () => ({
-    state: { inFlight: new Map(), answerBytes: 0, budgets: new Map(), sentTimes: new Map() },
+    state: {
+      startedAt: inputs.clock.now(),
+      inFlight: new Map(),
+      answerBytes: 0,
+      budgets: new Map(),
+      sentTimes: new Map(),
+    },
     effects: [{ kind: 'reset-requests' }],
   }),
   decide: (state, event) => ({ state, effects: decideEvent(event, { state, inputs }) }),
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -11,7 +11,14 @@
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
-import type { Attempt, Effects, Forwarding, RequestsContext, RequestsInputs } from './types.js';
+import type {
+  Attempt,
+  AttemptPurpose,
+  Effects,
+  Forwarding,
+  RequestsContext,
+  RequestsInputs,
+} from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { EventDetails } from '../../core/events/types.js';
 import type { AttemptObservation } from '../../decisions/forwarding/endpointHealth.js';
@@ -51,20 +58,57 @@
   return window;
 };
 
+/** Decision of the retry budget, and the effects that record it. */
+export interface BudgetDecision {
+  readonly outcome: 'taken' | 'spent';
+  readonly effects: Effects;
+}
+
 /**
  * Takes one retry from the budget of a request's service.
  *
  * @param forwarding - request
+ * @param purpose - purpose of the attempt that needs the retry
  * @param context - state and inputs
- * @returns `spent` when the budget permits no retry now
+ * @returns the decision; `spent` when the budget permits no retry now
  */
 export const takeFromBudget = (
   forwarding: Forwarding,
+  purpose: AttemptPurpose,
   context: RequestsContext,
-): 'taken' | 'spent' => {
+): BudgetDecision => {
   const { clock, countDaemons, getLiveSettings } = context.inputs;
   const window = getBudget(forwarding, context);
-  return takeRetry(window, getLiveSettings().budget, countDaemons(), clock.now());
+  const now = clock.now();
+  const daemons = countDaemons();
+  const { outcome, requests, retries } = takeRetry(window, getLiveSettings().budget, daemons, now);
+  const service = forwarding.service.name;
+  return {
+    outcome,
+    effects: [
+      {
+        kind: 'count',
+        name: 'gateway_retry_decisions_total',
+        labels: { service, purpose, outcome },
+      },
+      {
+        kind: 'log',
+        name: 'retry-decided',
+        details: {
+          requestId: forwarding.request.id,
+          entity: service,
+          data: {
+            purpose,
+            outcome,
+            daemons,
+            requests,
+            retries,
+            uptimeMs: Math.round(now - context.state.startedAt),
+          },
+        },
+      },
+    ],
+  };
 };
 
 const toObservation = (end: AttemptEnd): AttemptObservation => {
@@ -160,6 +204,21 @@
 const isRetryable = ({ route, delivered }: Forwarding): boolean =>
   route.resume === 'resumable' || (route.repeat === 'idempotent' && delivered === 'nothing');
 
+/** Places the request again, or fails it when the budget permits no retry. */
+const retryWithinBudget = (
+  forwarding: Forwarding,
+  end: AttemptEnd,
+  context: RequestsContext,
+): Effects => {
+  const { outcome, effects } = takeFromBudget(forwarding, 'retry', context);
+  const reason = `${end.message}; the retry budget is spent`;
+  const next =
+    outcome === 'spent'
+      ? failRequest(forwarding, reason, context)
+      : placeRequest(forwarding, 'retry', context);
+  return [...effects, ...next];
+};
+
 const retryAfterPossibleRun = (
   forwarding: Forwarding,
   attempt: Attempt,
@@ -175,16 +234,15 @@
   }
   const copy = findCopy(attempt);
   const plan = copy === null ? null : planFromCopy(forwarding, copy, context);
-  if (plan !== null && takeFromBudget(forwarding, context) === 'taken') {
-    return openContinuation(forwarding, plan, context);
+  const continuation = plan === null ? null : takeFromBudget(forwarding, 'continuation', context);
+  if (plan !== null && continuation?.outcome === 'taken') {
+    return [...continuation.effects, ...openContinuation(forwarding, plan, context)];
   }
+  const denied = continuation?.effects ?? [];
   const hasAttempts = forwarding.possibleRuns < route.maxEndpoints;
   if (!isRetryable(forwarding) || !hasAttempts)
-    return failRequest(forwarding, end.message, context);
-  if (takeFromBudget(forwarding, context) === 'spent') {
-    return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
-  }
-  return placeRequest(forwarding, 'retry', context);
+    return [...denied, ...failRequest(forwarding, end.message, context)];
+  return [...denied, ...retryWithinBudget(forwarding, end, context)];
 };
 
 /** Resumes a generation that the target of its transfer refused at the endpoint that stopped it. */
@@ -195,9 +253,11 @@
 ): Effects | null => {
   if (fallback === null || fallback.holder.id === endpoint.id) return null;
   const plan = planFromCopy(forwarding, fallback, context);
-  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return null;
+  if (plan === null) return null;
+  const { outcome, effects } = takeFromBudget(forwarding, 'continuation', context);
+  if (outcome === 'spent') return null;
   const refusedTargets = new Set([endpoint.id]);
-  return openContinuation(forwarding, { ...plan, refusedTargets }, context);
+  return [...effects, ...openContinuation(forwarding, { ...plan, refusedTargets }, context)];
 };
 
 const retryNotRun = (
@@ -217,11 +277,9 @@
     return failRequest(forwarding, end.message, context);
   // The retry of a request that was never sent adds no load to the endpoints, so it needs no
   // budget.
-  const isBudgeted = end.kind === 'refused';
-  if (isBudgeted && takeFromBudget(forwarding, context) === 'spent') {
-    return failRequest(forwarding, `${end.message}; the retry budget is spent`, context);
-  }
-  return placeRequest(forwarding, 'retry', context);
+  return end.kind === 'refused'
+    ? retryWithinBudget(forwarding, end, context)
+    : placeRequest(forwarding, 'retry', context);
 };
 
 /**
@@ -267,8 +325,9 @@
   if (runs >= forwarding.route.maxEndpoints) return [];
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return [];
   const plan = planFurtherAttempt(forwarding, 'hedge', context);
-  if (plan === null || takeFromBudget(forwarding, context) === 'spent') return [];
-  return openAttempt(forwarding, plan, context);
+  if (plan === null) return [];
+  const { outcome, effects } = takeFromBudget(forwarding, 'hedge', context);
+  return outcome === 'spent' ? effects : [...effects, ...openAttempt(forwarding, plan, context)];
 };
 
 const recordPossibleRun = (forwarding: Forwarding): void => {
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -104,8 +104,9 @@
     describeSilence(forwarding, attempt, silentMs, response);
   const plan = planContinuation(forwarding, attempt, context);
   if (plan === null) return [describe('no-endpoint')];
-  if (takeFromBudget(forwarding, context) === 'spent') return [describe('budget-spent')];
-  return [describe('continued'), ...openContinuation(forwarding, plan, context)];
+  const { outcome, effects } = takeFromBudget(forwarding, 'continuation', context);
+  if (outcome === 'spent') return [...effects, describe('budget-spent')];
+  return [...effects, describe('continued'), ...openContinuation(forwarding, plan, context)];
 };
 
 /**
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -132,6 +132,8 @@
 }
 
 export interface RequestsState {
+  /** Instant from which this state has counted requests; nothing from before it is known. */
+  readonly startedAt: Millis;
   readonly inFlight: Map<number, Forwarding>;
   /** Bytes that are kept of all answers: whole ones in part, and events in part. */
   answerBytes: number;
