Count each retry for a whole window of the budget

What callers saw: nothing by itself; the fleet sends more than its budget of retries within ten seconds (BUDGET), and endpoints that fail get more load.

Cause: the sliding window has buckets of a twentieth, and dropped the oldest one as soon as it was partly outside. A burst at the end of a bucket was forgotten 0.95 windows later, and the whole slack was free again. All daemons spend their parts at one moment when a service begins to fail, so the sum doubles too.

A retry now counts for two buckets more, which covers the window and the time until it arrives; a request counts for no longer than before.

Evidence: 'a burst of retries counts for a whole window' permitted 32 of 32 retries a second time before, and permits none now. The property over random histories compared only 0.95 of a window, which hid this; it compares a whole one now.

--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -1,6 +1,12 @@
 /** Number of buckets in the sliding window of the retry budget. */
 export const BUDGET_BUCKETS = 20;
 
+/**
+ * Number of buckets for which a retry counts. A window begins and ends within buckets, and a retry
+ * arrives later than it is sent.
+ */
+export const RETRY_BUCKETS = BUDGET_BUCKETS + 2;
+
 /** Share of the retry budget that may be used; the rest covers peers missing from the count. */
 export const BUDGET_UTILIZATION = 0.8;
 
--- a/packages/decisions/forwarding/retryBudget.test.ts
+++ b/packages/decisions/forwarding/retryBudget.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import fc from 'fast-check';
+import { BUDGET_BUCKETS } from './constants.js';
 import { countRequest, createBudgetWindow, takeRetry } from './retryBudget.js';
-import type { RetryBudgetSettings } from './retryBudget.js';
+import type { BudgetWindow, RetryBudgetSettings } from './retryBudget.js';
 
 const SETTINGS: RetryBudgetSettings = { ratio: 0.2, slack: 40, windowMs: 10_000 };
 
@@ -18,6 +19,21 @@
   t.is(takeAllRetries(4), 8);
 });
 
+/** Takes all retries that the budget permits at an instant. */
+const takeAllRetriesAt = (window: BudgetWindow, now: number): number => {
+  let taken = 0;
+  while (takeRetry(window, SETTINGS, 1, now).outcome === 'taken') taken += 1;
+  return taken;
+};
+
+// Guards against a window that forgets retries early: the slack was free again within the same window.
+test('a burst of retries counts for a whole window', (t) => {
+  const window = createBudgetWindow();
+  const endOfBucket = SETTINGS.windowMs / BUDGET_BUCKETS - 1;
+  t.is(takeAllRetriesAt(window, endOfBucket), 32);
+  t.is(takeAllRetriesAt(window, endOfBucket + SETTINGS.windowMs - 1), 0);
+});
+
 // Guards against more retries in any window than the shared limit allows.
 test('no window contains more retries than allowed', (t) => {
   const step = fc.record({ waitMs: fc.nat(900), isRetry: fc.boolean() });
@@ -34,10 +50,8 @@
       } else if (takeRetry(window, SETTINGS, 1, now).outcome === 'taken') retries.push(now);
     }
     for (const end of retries) {
-      const inWindow = (at: number): boolean => at <= end && at > end - SETTINGS.windowMs * 0.95;
-      const requestCount = requests.filter(
-        (at) => at <= end && at > end - SETTINGS.windowMs,
-      ).length;
+      const inWindow = (at: number): boolean => at <= end && at > end - SETTINGS.windowMs;
+      const requestCount = requests.filter(inWindow).length;
       t.true(retries.filter(inWindow).length <= requestCount * SETTINGS.ratio + SETTINGS.slack);
     }
   });
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -1,4 +1,4 @@
-import { BUDGET_BUCKETS, BUDGET_UTILIZATION } from './constants.js';
+import { BUDGET_BUCKETS, BUDGET_UTILIZATION, RETRY_BUCKETS } from './constants.js';
 import type { Millis } from '../../core/clock.js';
 
 /** Limit on the retries of one service, shared by all daemons. */
@@ -31,7 +31,7 @@
 
 const findBucket = (window: BudgetWindow, settings: RetryBudgetSettings, now: Millis): Bucket => {
   const number = Math.floor((now * BUDGET_BUCKETS) / settings.windowMs);
-  while (window.buckets[0] !== undefined && window.buckets[0].number <= number - BUDGET_BUCKETS) {
+  while (window.buckets[0] !== undefined && window.buckets[0].number <= number - RETRY_BUCKETS) {
     window.buckets.shift();
   }
   const last = window.buckets.at(-1);
@@ -82,7 +82,10 @@
   now: Millis,
 ): RetryDecision => {
   const bucket = findBucket(window, settings, now);
-  const requests = window.buckets.reduce((sum, { requests: count }) => sum + count, 0);
+  // A request counts for no longer than the window, and a retry for no shorter.
+  const requests = window.buckets
+    .filter(({ number }) => number > bucket.number - BUDGET_BUCKETS)
+    .reduce((sum, { requests: count }) => sum + count, 0);
   const retries = window.buckets.reduce((sum, { retries: count }) => sum + count, 0);
   const allowed =
     BUDGET_UTILIZATION * (requests * settings.ratio + settings.slack / Math.max(1, daemons));
