Let each send of a request pass one owner that counts it when it is sent

Several places decided for themselves what may be sent once more (budget, endpoints of the route, refusals), and transfers were counted nowhere.

Cause, as a class: what may be sent once more, who counts it, when, and who knows. A retry was charged when it was decided, and sent up to a pause later.

A further send is denied by the endpoints of the route, by the refusals so far or by the budget; a request that was never sent needs no budget; a transfer counts and is never denied, since its source was told to stop. The charge moves to the instant at which the connection stands and the request is sent, and is checked again there; one that is not sent is returned.

Evidence: sendPermits.test.ts. Before, nine retries decided before a pause and nine after it were sent in one window of nine.

--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -16,6 +16,9 @@
  */
 export const BUDGET_UTILIZATION = 0.9;
 
+/** Number of attempts that did not run a request after which it is not sent again. */
+export const MAX_NOT_RUN_ATTEMPTS = 4;
+
 /**
  * Bounds of the sliding window in which requests to an endpoint are counted against the limit that
  * it states.
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -13,7 +13,7 @@
 }
 
 /** Requests and retries within one part of the sliding window. */
-interface Bucket {
+export interface Bucket {
   readonly number: number;
   requests: number;
   retries: number;
@@ -64,10 +64,15 @@
   findBucket(window, settings, now).requests += 1;
 };
 
+/** A retry that counts in a window; only this module updates it. */
+export interface RetryCharge {
+  bucket: Bucket;
+}
+
 /** Decision on one retry, and what decided it. */
 export interface RetryDecision {
-  /** `spent` when this daemon's share is used up. */
-  readonly outcome: 'taken' | 'spent';
+  /** The retry that was taken; null when this daemon's share is spent. */
+  readonly charge: RetryCharge | null;
   /** Requests and retries of this daemon in the window that ends now. */
   readonly requests: number;
   readonly retries: number;
@@ -121,15 +126,67 @@
   const slackShare = computeSlackShare(window, settings, fleet, now);
   const firstOfWindow = current.number - BUDGET_BUCKETS + 1;
   let retries = 0;
-  let outcome: RetryDecision['outcome'] = 'taken';
+  let isSpent = false;
   for (let from = current.number; from > current.number - RETRY_BUCKETS; from -= 1) {
     retries += window.buckets.find(({ number }) => number === from)?.retries ?? 0;
     // A request counts for no longer than the window, and a retry for no shorter.
     const basis = countBasis(window, Math.max(from, firstOfWindow));
     const allowed = basis * settings.ratio + slackShare;
-    if (retries + 1 > BUDGET_UTILIZATION * allowed) outcome = 'spent';
+    if (retries + 1 > BUDGET_UTILIZATION * allowed) isSpent = true;
   }
-  if (outcome === 'taken') current.retries += 1;
+  if (!isSpent) current.retries += 1;
   const requests = sumRequests(window, firstOfWindow, current.number + 1);
-  return { outcome, requests, retries };
+  return { charge: isSpent ? null : { bucket: current }, requests, retries };
+};
+
+/**
+ * Counts a retry whatever the budget permits.
+ *
+ * @param window - window of the service
+ * @param settings - limits of the budget
+ * @param now - current instant
+ * @returns the charge
+ */
+export const recordRetry = (
+  window: BudgetWindow,
+  settings: RetryBudgetSettings,
+  now: Millis,
+): RetryCharge => {
+  const bucket = findBucket(window, settings, now);
+  bucket.retries += 1;
+  return { bucket };
+};
+
+/**
+ * Returns a retry to the budget.
+ *
+ * @param charge - retry that is not made
+ */
+export const releaseRetry = ({ bucket }: RetryCharge): void => {
+  bucket.retries -= 1;
+};
+
+/**
+ * Moves a retry to the current instant, and checks it against the budget again if time has passed.
+ *
+ * @param charge - retry that was taken earlier
+ * @param window - window of the service
+ * @param settings - limits of the budget
+ * @param fleet - what this daemon knows of the daemons that share the slack
+ * @param now - current instant
+ * @returns `spent`, and the retry does not count, when the budget does not permit it any more
+ */
+export const commitRetry = (
+  charge: RetryCharge,
+  window: BudgetWindow,
+  settings: RetryBudgetSettings,
+  fleet: FleetKnowledge,
+  now: Millis,
+): 'sent' | 'spent' => {
+  if (charge.bucket === findBucket(window, settings, now)) return 'sent';
+  releaseRetry(charge);
+  const { charge: moved } = takeRetry(window, settings, fleet, now);
+  if (moved === null) return 'spent';
+  charge.bucket = moved.bucket;
+  return 'sent';
 };
--- /dev/null
+++ b/packages/decisions/forwarding/sendPermits.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
+import { createBudgetWindow } from './retryBudget.js';
+import { admitFurtherSend, commitSend, releaseSend } from './sendPermits.js';
+import type { FurtherSend, SendDenial, SendHistory, ServiceBudget } from './sendPermits.js';
+
+const SLACK = 10;
+
+/** Budget of a daemon that is alone and has counted for long; 9 of 10 retries may be used. */
+const buildBudget = (slack = SLACK): ServiceBudget => ({
+  window: createBudgetWindow(-60_000),
+  settings: { ratio: 0.2, slack, windowMs: 10_000 },
+  fleet: { daemons: 1, contact: 'known' },
+});
+
+/** A request of which one attempt ran. */
+const HISTORY: SendHistory = {
+  maxEndpoints: 2,
+  sends: 1,
+  possibleRuns: 1,
+  openAttempts: 0,
+  notRunAttempts: 0,
+};
+
+const RETRY: FurtherSend = { kind: 'retry' };
+const FROM_COPY: FurtherSend = { kind: 'continuation', from: 'copy' };
+const FROM_LAST_EVENT: FurtherSend = { kind: 'continuation', from: 'last-event' };
+
+const admit = (
+  send: FurtherSend,
+  change: Partial<SendHistory> = {},
+  budget = buildBudget(),
+  now = 0,
+) => admitFurtherSend(send, { ...HISTORY, ...change }, budget, now);
+
+const findDenial = (send: FurtherSend, change: Partial<SendHistory>): SendDenial | null => {
+  const decision = admit(send, change);
+  return decision.kind === 'denied' ? decision.reason : null;
+};
+
+// Guards against runs at more endpoints than the route permits, in whatever way the request is sent again.
+test('a request runs at no more endpoints than its route permits', (t) => {
+  const used = { possibleRuns: 1, openAttempts: 1 };
+  t.is(findDenial(RETRY, { possibleRuns: 2 }), 'endpoints-used');
+  t.is(findDenial({ kind: 'hedge' }, used), 'endpoints-used');
+  t.is(findDenial(FROM_LAST_EVENT, used), 'endpoints-used');
+  t.is(findDenial(RETRY, {}), null);
+  // A continuation from a copy is the same run.
+  t.is(findDenial(FROM_COPY, used), null);
+  t.is(findDenial({ kind: 'transfer' }, used), null);
+});
+
+// Guards against a request that goes round all endpoints that refuse it.
+test('a request that was refused too often is not sent again', (t) => {
+  const refused = { possibleRuns: 0, notRunAttempts: MAX_NOT_RUN_ATTEMPTS };
+  t.is(findDenial(RETRY, refused), 'too-many-refusals');
+});
+
+const countPermitted = (send: FurtherSend, change: Partial<SendHistory>): number => {
+  const budget = buildBudget();
+  let permitted = 0;
+  while (permitted < 2 * SLACK && admit(send, change, budget).kind === 'permitted') permitted += 1;
+  return permitted;
+};
+
+// Guards against a kind of send that does not count, or that counts though nothing arrives twice.
+test('each further send counts in the budget, but not one of a request that was never sent', (t) => {
+  const sends: readonly FurtherSend[] = [RETRY, { kind: 'hedge' }, FROM_COPY, FROM_LAST_EVENT];
+  t.deepEqual(
+    sends.map((send) => countPermitted(send, {})),
+    [9, 9, 9, 9],
+  );
+  t.is(countPermitted(RETRY, { sends: 0, possibleRuns: 0 }), 2 * SLACK);
+});
+
+// Guards against transfers that are denied after their source was told to stop, and against ones that
+// leave the budget to others.
+test('a transfer is never denied and takes from the budget', (t) => {
+  const budget = buildBudget();
+  for (let sent = 0; sent < SLACK; sent += 1)
+    t.is(admit({ kind: 'transfer' }, {}, budget).kind, 'permitted');
+  t.is(admit(RETRY, {}, budget).kind, 'denied');
+});
+
+// Guards against retries of a paused daemon that arrive together with those of the next window.
+test('a retry that is sent later than it was decided counts when it is sent', (t) => {
+  const budget = buildBudget();
+  const decided = Array.from({ length: 9 }, () => admit(RETRY, {}, budget));
+  const afterPause = 20_000;
+  const fresh = Array.from({ length: 9 }, () => admit(RETRY, {}, budget, afterPause));
+  t.true(fresh.every(({ kind }) => kind === 'permitted'));
+  const outcomes = [...decided, ...fresh].map((decision) =>
+    decision.kind === 'permitted' ? commitSend(decision.permit, budget, afterPause) : 'denied',
+  );
+  t.is(outcomes.filter((outcome) => outcome === 'sent').length, 9);
+});
+
+// Guards against a budget that is used up by requests which never reached an endpoint.
+test('a retry that is not sent is returned', (t) => {
+  const budget = buildBudget(2);
+  const first = admit(RETRY, {}, budget);
+  t.is(admit(RETRY, {}, budget).kind, 'denied');
+  if (first.kind === 'permitted') releaseSend(first.permit);
+  t.is(admit(RETRY, {}, budget).kind, 'permitted');
+});
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -15,14 +15,7 @@
 import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import { waitForTransfer } from './transferTurns.js';
-import type {
-  Attempt,
-  AttemptPurpose,
-  Effects,
-  Forwarding,
-  RequestsContext,
-  RequestsInputs,
-} from './types.js';
+import type { Attempt, Effects, Forwarding, RequestsContext, RequestsInputs } from './types.js';
 import { createByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { EndpointId } from '../../core/ids.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
@@ -39,6 +32,7 @@
   PlacementCriteria,
 } from '../../decisions/forwarding/placeAttempt.js';
 import { isResumableAt } from '../../decisions/forwarding/resumption.js';
+import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyReference } from '../types.js';
@@ -95,7 +89,7 @@
       },
     ];
   }
-  if (route.repeat !== 'idempotent' || attempt.purpose === 'hedge') return [];
+  if (route.repeat !== 'idempotent' || attempt.permit.purpose === 'hedge') return [];
   return [
     {
       kind: 'schedule',
@@ -105,14 +99,13 @@
   ];
 };
 
-/** Endpoint and purpose of an attempt, and the copy from which it resumes. */
+/** Endpoint of an attempt, and the copy from which it resumes. */
 export interface AttemptPlan {
   readonly endpoint: EndpointRecord;
   /** Load of the endpoint, as far as it is known. */
   readonly load: EndpointLoad;
   /** Endpoints from which the one of the backup is chosen. */
   readonly candidates: readonly Candidate[];
-  readonly purpose: AttemptPurpose;
   /** Copy of the generation's memory to resume from; null for other attempts. */
   readonly copy: CopyReference | null;
   /** Copy to resume from if the endpoint refuses. */
@@ -125,13 +118,15 @@
  * Starts an attempt.
  *
  * @param forwarding - request
- * @param plan - endpoint and purpose
+ * @param plan - endpoint
+ * @param permit - permission to send the request once more
  * @param context - state and inputs
  * @returns effects that send the request
  */
 export const openAttempt = (
   forwarding: Forwarding,
   plan: AttemptPlan,
+  permit: SendPermit,
   context: RequestsContext,
 ): Effects => {
   const { state, inputs } = context;
@@ -140,11 +135,12 @@
   const now = inputs.clock.now();
   const backup = chooseBackup(forwarding, endpoint, candidates, context);
   forwarding.attemptsMade += 1;
+  forwarding.waitingPermit = null;
   forwarding.tried.add(endpoint.id);
   const attempt: Attempt = {
     number: forwarding.attemptsMade,
     endpoint,
-    purpose: plan.purpose,
+    permit,
     startedAt: now,
     backup,
     phase: 'connecting',
@@ -193,7 +189,7 @@
         entity: route.name,
         data: {
           attempt: attempt.number,
-          purpose: plan.purpose,
+          purpose: permit.purpose,
           candidates: candidates.length,
           load: load.requests,
           tokens: load.tokens,
@@ -230,17 +226,18 @@
  * wait.
  *
  * @param forwarding - request without a running attempt
- * @param purpose - purpose of the attempt
+ * @param permit - permission to send it, which it keeps while it waits
  * @param context - state and inputs
  * @returns effects
  */
 export const placeRequest = (
   forwarding: Forwarding,
-  purpose: AttemptPurpose,
+  permit: SendPermit,
   context: RequestsContext,
 ): Effects => {
   const { inputs } = context;
   const now = inputs.clock.now();
+  forwarding.waitingPermit = permit;
   const content = checkRequestContent(forwarding.request, inputs);
   if (content.kind === 'quarantined') return refuseQuarantined(forwarding, content, context);
   const candidates = listCandidates(forwarding, context);
@@ -257,8 +254,8 @@
     if (isWaitingForCapacity) return [retryPlacement];
     if (isOverloaded(candidate, criteria)) return refuseOverloaded(forwarding, context);
     const { load, record } = candidate;
-    const plan = { endpoint: record, load, candidates, purpose, copy: null };
-    return openAttempt(forwarding, plan, context);
+    const plan = { endpoint: record, load, candidates, copy: null };
+    return openAttempt(forwarding, plan, permit, context);
   }
   if (waitedMs < route.targetMs * MAX_PLACEMENT_WAIT_SHARE) return [retryPlacement];
   const isLimited = candidates.some(({ limitHeadroom }) => limitHeadroom !== null);
@@ -293,20 +290,18 @@
   if (!isHolderUsable(holder, context)) return null;
   const candidates = listCandidates(forwarding, context);
   const load = candidates.find(({ record }) => record.id === holder.id)?.load ?? NO_LOAD;
-  return { endpoint: holder, load, candidates, purpose: 'continuation', copy: name };
+  return { endpoint: holder, load, candidates, copy: name };
 };
 
 /**
  * Plans an attempt at another endpoint beside those that are running.
  *
  * @param forwarding - request with a running attempt
- * @param purpose - purpose of the attempt
  * @param context - state and inputs
  * @returns the plan, or null when no other endpoint has capacity
  */
 export const planFurtherAttempt = (
   forwarding: Forwarding,
-  purpose: AttemptPurpose,
   context: RequestsContext,
 ): AttemptPlan | null => {
   const { inputs } = context;
@@ -318,7 +313,7 @@
   const candidate = placeAttempt(candidates, criteria, inputs.random);
   if (candidate === null || !hasCapacity(candidate, criteria)) return null;
   const { load, record } = candidate;
-  return { endpoint: record, load, candidates, purpose, copy: null };
+  return { endpoint: record, load, candidates, copy: null };
 };
 
 /**
@@ -326,17 +321,19 @@
  *
  * @param forwarding - request whose attempt ended or is replaced
  * @param plan - endpoint, and the copy of the generation if one is used
+ * @param permit - permission to send the request once more
  * @param context - state and inputs
  * @returns effects
  */
 export const openContinuation = (
   forwarding: Forwarding,
   plan: AttemptPlan,
+  permit: SendPermit,
   context: RequestsContext,
 ): Effects => {
   // The generation has started before, so a refusal of this attempt does not permit a second run.
   forwarding.verdict = 'may-have-run';
-  return openAttempt(forwarding, plan, context);
+  return openAttempt(forwarding, plan, permit, context);
 };
 
 /**
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -42,9 +42,6 @@
 /** Time in which a continuation reaches its engine. */
 export const UNVERIFIED_CONTINUATION_MARGIN_MS = 400;
 
-/** Number of attempts that did not run a request after which it is refused. */
-export const MAX_NOT_RUN_ATTEMPTS = 4;
-
 /** Size limit of a whole answer, which is buffered until it is complete. */
 export const MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
 
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -16,9 +16,11 @@
   startNextTransfer,
 } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
-import { endForDrain, expireRequest, getBudget, sendHedge } from './retrying.js';
-import { checkRun, handleRunState, startRunChecks } from './runChecks.js';
-import { checkStall, endSilentAttempt, startOverlap } from './silence.js';
+import { endForDrain, expireRequest, sendHedge } from './retrying.js';
+import { checkRun, handleRunState } from './runChecks.js';
+import { sendAttempt } from './sendAttempt.js';
+import { getBudget } from './sendDecisions.js';
+import { checkStall, endSilentAttempt } from './silence.js';
 import type {
   Attempt,
   Effects,
@@ -32,6 +34,7 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import { countRequest } from '../../decisions/forwarding/retryBudget.js';
+import { admitFirstSend } from '../../decisions/forwarding/sendPermits.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect, RequestsEvent } from '../events.js';
@@ -110,6 +113,8 @@
   attempts: new Map(),
   tried: new Set(),
   attemptsMade: 0,
+  sends: 0,
+  waitingPermit: null,
   possibleRuns: 0,
   notRunAttempts: 0,
   repeatedTransfers: 0,
@@ -164,14 +169,15 @@
   }
   const forwarding = createForwarding(request, route, service, customer, table.version);
   state.inFlight.set(request.key, forwarding);
-  countRequest(getBudget(forwarding, context), inputs.getLiveSettings().budget, now);
+  const { settings, window } = getBudget(forwarding, context);
+  countRequest(window, settings, now);
   return [
     {
       kind: 'schedule',
       delayMs: forwarding.deadlineAt - now,
       event: { to: 'requests', kind: 'deadline-reached', key: request.key },
     },
-    ...placeRequest(forwarding, 'first', context),
+    ...placeRequest(forwarding, admitFirstSend(), context),
   ];
 };
 
@@ -212,13 +218,7 @@
 ): Effects => {
   switch (event.kind) {
     case 'attempt-connected':
-      // From here on the endpoint may run the request, whatever else waits in the event queue.
-      attempt.phase = 'sent';
-      return [
-        { kind: 'send-attempt', key: event.key, attempt: event.attempt },
-        ...startOverlap(forwarding, attempt),
-        ...startRunChecks(forwarding, attempt, context),
-      ];
+      return sendAttempt(forwarding, attempt, context);
     case 'answer-started':
       return startAnswer(forwarding, attempt, event.head, context);
     case 'answer-continued':
@@ -261,7 +261,9 @@
     case 'deadline-reached':
       return expireRequest(forwarding, context);
     case 'placement-due':
-      return forwarding.attempts.size > 0 ? [] : placeRequest(forwarding, 'first', context);
+      return forwarding.waitingPermit === null
+        ? []
+        : placeRequest(forwarding, forwarding.waitingPermit, context);
     case 'attempt-connected':
     case 'answer-started':
     case 'answer-continued':
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -7,23 +7,15 @@
   planFromCopy,
   planFurtherAttempt,
 } from './attempts.js';
-import { MAX_NOT_RUN_ATTEMPTS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
-import type {
-  Attempt,
-  AttemptPurpose,
-  Effects,
-  Forwarding,
-  RequestsContext,
-  RequestsInputs,
-} from './types.js';
+import { decideFurtherSend } from './sendDecisions.js';
+import type { Attempt, Effects, Forwarding, RequestsContext, RequestsInputs } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { EventDetails } from '../../core/events/types.js';
 import type { AttemptObservation } from '../../decisions/forwarding/endpointHealth.js';
-import { createBudgetWindow, takeRetry } from '../../decisions/forwarding/retryBudget.js';
-import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
+import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 import type { CrashProgress } from '../../decisions/quarantine/crashEvidence.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 
@@ -43,75 +35,6 @@
   /** No event arrived within the stall timeout, and another endpoint continues the stream. */
   | { readonly kind: 'silent'; readonly message: string };
 
-/**
- * Returns the window of a service's retry budget, which is created on first use.
- *
- * @param forwarding - request of the service
- * @param context - state and inputs
- * @returns the window
- */
-export const getBudget = ({ service }: Forwarding, { state }: RequestsContext): BudgetWindow => {
-  const known = state.budgets.get(service.name);
-  if (known !== undefined) return known;
-  const window = createBudgetWindow(state.startedAt);
-  state.budgets.set(service.name, window);
-  return window;
-};
-
-/** Decision of the retry budget, and the effects that record it. */
-export interface BudgetDecision {
-  readonly outcome: 'taken' | 'spent';
-  readonly effects: Effects;
-}
-
-/**
- * Takes one retry from the budget of a request's service.
- *
- * @param forwarding - request
- * @param purpose - purpose of the attempt that needs the retry
- * @param context - state and inputs
- * @returns the decision; `spent` when the budget permits no retry now
- */
-export const takeFromBudget = (
-  forwarding: Forwarding,
-  purpose: AttemptPurpose,
-  context: RequestsContext,
-): BudgetDecision => {
-  const { clock, getFleet, getLiveSettings } = context.inputs;
-  const window = getBudget(forwarding, context);
-  const now = clock.now();
-  const fleet = getFleet();
-  const { outcome, requests, retries } = takeRetry(window, getLiveSettings().budget, fleet, now);
-  const service = forwarding.service.name;
-  return {
-    outcome,
-    effects: [
-      {
-        kind: 'count',
-        name: 'gateway_retry_decisions_total',
-        labels: { service, purpose, outcome },
-      },
-      {
-        kind: 'log',
-        name: 'retry-decided',
-        details: {
-          requestId: forwarding.request.id,
-          entity: service,
-          data: {
-            purpose,
-            outcome,
-            daemons: fleet.daemons,
-            contact: fleet.contact,
-            requests,
-            retries,
-            uptimeMs: Math.round(now - context.state.startedAt),
-          },
-        },
-      },
-    ],
-  };
-};
-
 const toObservation = (end: AttemptEnd): AttemptObservation => {
   switch (end.kind) {
     case 'unreachable':
@@ -189,7 +112,7 @@
       entity: forwarding.route.name,
       data: {
         attempt: attempt.number,
-        purpose: attempt.purpose,
+        purpose: attempt.permit.purpose,
         reason: end.kind,
         message: end.message,
         phase: attempt.phase,
@@ -205,19 +128,40 @@
 const isRetryable = ({ route, delivered }: Forwarding): boolean =>
   route.resume === 'resumable' || (route.repeat === 'idempotent' && delivered === 'nothing');
 
-/** Places the request again, or fails it when the budget permits no retry. */
-const retryWithinBudget = (
+/** Places the request again, or fails it when it may not be sent again. */
+const retryIfPermitted = (
   forwarding: Forwarding,
   end: AttemptEnd,
   context: RequestsContext,
 ): Effects => {
-  const { outcome, effects } = takeFromBudget(forwarding, 'retry', context);
-  const reason = `${end.message}; the retry budget is spent`;
-  const next =
-    outcome === 'spent'
-      ? failRequest(forwarding, reason, context)
-      : placeRequest(forwarding, 'retry', context);
-  return [...effects, ...next];
+  const { decision, effects } = decideFurtherSend(forwarding, { kind: 'retry' }, context);
+  switch (decision.kind) {
+    case 'permitted':
+      return [...effects, ...placeRequest(forwarding, decision.permit, context)];
+    case 'denied': {
+      const isSpent = decision.reason === 'budget-spent';
+      const reason = isSpent ? `${end.message}; the retry budget is spent` : end.message;
+      return [...effects, ...failRequest(forwarding, reason, context)];
+    }
+    default:
+      return assertNever(decision);
+  }
+};
+
+/** Continues a generation from its copy, if it has a usable one and may be sent again. */
+const continueFromCopy = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): { readonly outcome: 'continued' | 'not-continued'; readonly effects: Effects } => {
+  const copy = findCopy(attempt);
+  const plan = copy === null ? null : planFromCopy(forwarding, copy, context);
+  if (plan === null) return { outcome: 'not-continued', effects: [] };
+  const send = { kind: 'continuation', from: 'copy' } as const;
+  const { decision, effects } = decideFurtherSend(forwarding, send, context);
+  if (decision.kind === 'denied') return { outcome: 'not-continued', effects };
+  const opened = openContinuation(forwarding, plan, decision.permit, context);
+  return { outcome: 'continued', effects: [...effects, ...opened] };
 };
 
 const retryAfterPossibleRun = (
@@ -226,24 +170,18 @@
   end: AttemptEnd,
   context: RequestsContext,
 ): Effects => {
-  const { route } = forwarding;
   const { inputs } = context;
   // Its endpoint most likely crashed on this request, and the next one would crash as well.
   const isLikelyCause = end.kind === 'crashed' && end.progress === 'beginning';
   if (isLikelyCause || checkRequestContent(forwarding.request, inputs).kind === 'quarantined') {
     return failRequest(forwarding, end.message, context);
   }
-  const copy = findCopy(attempt);
-  const plan = copy === null ? null : planFromCopy(forwarding, copy, context);
-  const continuation = plan === null ? null : takeFromBudget(forwarding, 'continuation', context);
-  if (plan !== null && continuation?.outcome === 'taken') {
-    return [...continuation.effects, ...openContinuation(forwarding, plan, context)];
-  }
-  const denied = continuation?.effects ?? [];
-  const hasAttempts = forwarding.possibleRuns < route.maxEndpoints;
-  if (!isRetryable(forwarding) || !hasAttempts)
-    return [...denied, ...failRequest(forwarding, end.message, context)];
-  return [...denied, ...retryWithinBudget(forwarding, end, context)];
+  const { outcome, effects } = continueFromCopy(forwarding, attempt, context);
+  if (outcome === 'continued') return effects;
+  const next = isRetryable(forwarding)
+    ? retryIfPermitted(forwarding, end, context)
+    : failRequest(forwarding, end.message, context);
+  return [...effects, ...next];
 };
 
 /** Resumes a generation that the target of its transfer refused at the endpoint that stopped it. */
@@ -255,10 +193,12 @@
   if (fallback === null || fallback.holder.id === endpoint.id) return null;
   const plan = planFromCopy(forwarding, fallback, context);
   if (plan === null) return null;
-  const { outcome, effects } = takeFromBudget(forwarding, 'continuation', context);
-  if (outcome === 'spent') return null;
+  const send = { kind: 'continuation', from: 'copy' } as const;
+  const { decision, effects } = decideFurtherSend(forwarding, send, context);
+  if (decision.kind === 'denied') return null;
   const refusedTargets = new Set([endpoint.id]);
-  return [...effects, ...openContinuation(forwarding, { ...plan, refusedTargets }, context)];
+  const opened = { ...plan, refusedTargets };
+  return [...effects, ...openContinuation(forwarding, opened, decision.permit, context)];
 };
 
 const retryNotRun = (
@@ -274,13 +214,7 @@
   if (forwarding.verdict !== 'not-run' && !isRetryable(forwarding)) {
     return failRequest(forwarding, end.message, context);
   }
-  if (forwarding.notRunAttempts >= MAX_NOT_RUN_ATTEMPTS)
-    return failRequest(forwarding, end.message, context);
-  // The retry of a request that was never sent adds no load to the endpoints, so it needs no
-  // budget.
-  return end.kind === 'refused'
-    ? retryWithinBudget(forwarding, end, context)
-    : placeRequest(forwarding, 'retry', context);
+  return retryIfPermitted(forwarding, end, context);
 };
 
 /**
@@ -299,6 +233,7 @@
   context: RequestsContext,
 ): Effects => {
   const isNotRun = isProvablyNotRun(end, attempt);
+  if (attempt.phase === 'connecting') releaseSend(attempt.permit);
   removeAttempt(forwarding, attempt, context.state);
   if (!isNotRun) {
     forwarding.possibleRuns += 1;
@@ -322,13 +257,13 @@
  * @returns effects
  */
 export const sendHedge = (forwarding: Forwarding, context: RequestsContext): Effects => {
-  const runs = forwarding.possibleRuns + forwarding.attempts.size;
-  if (runs >= forwarding.route.maxEndpoints) return [];
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return [];
-  const plan = planFurtherAttempt(forwarding, 'hedge', context);
+  const plan = planFurtherAttempt(forwarding, context);
   if (plan === null) return [];
-  const { outcome, effects } = takeFromBudget(forwarding, 'hedge', context);
-  return outcome === 'spent' ? effects : [...effects, ...openAttempt(forwarding, plan, context)];
+  const { decision, effects } = decideFurtherSend(forwarding, { kind: 'hedge' }, context);
+  return decision.kind === 'denied'
+    ? effects
+    : [...effects, ...openAttempt(forwarding, plan, decision.permit, context)];
 };
 
 const recordPossibleRun = (forwarding: Forwarding): void => {
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -4,7 +4,8 @@
 import { CONTINUATION_OVERLAP_MS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
-import { endAttempt, takeFromBudget } from './retrying.js';
+import { endAttempt } from './retrying.js';
+import { decideFurtherSend } from './sendDecisions.js';
 import type { AttemptEnd } from './retrying.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { waitForTransfer } from './transferTurns.js';
@@ -38,7 +39,7 @@
  * @returns effects; none unless a silent endpoint keeps its attempt meanwhile
  */
 export const startOverlap = ({ attempts, request }: Forwarding, continuation: Attempt): Effects => {
-  if (continuation.purpose !== 'continuation') return [];
+  if (continuation.permit.purpose !== 'continuation') return [];
   return [...attempts.values()]
     .filter((attempt) => attempt !== continuation)
     .map(({ number }) => ({
@@ -70,19 +71,27 @@
   },
 });
 
+/** Continuation of a stream, and what it starts from. */
+interface ContinuationPlan {
+  readonly plan: AttemptPlan;
+  readonly from: 'copy' | 'last-event';
+}
+
 /** Plans the continuation of a stream that its endpoint does not have to give up. */
 const planContinuation = (
   forwarding: Forwarding,
   attempt: Attempt,
   context: RequestsContext,
-): AttemptPlan | null => {
+): ContinuationPlan | null => {
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return null;
   const copy = findCopy(attempt);
-  if (copy !== null) return planFromCopy(forwarding, copy, context);
-  const { attempts, possibleRuns, route } = forwarding;
-  const canResume =
-    route.resume === 'resumable' && possibleRuns + attempts.size < route.maxEndpoints;
-  return canResume ? planFurtherAttempt(forwarding, 'continuation', context) : null;
+  if (copy !== null) {
+    const plan = planFromCopy(forwarding, copy, context);
+    return plan === null ? null : { plan, from: 'copy' };
+  }
+  if (forwarding.route.resume !== 'resumable') return null;
+  const plan = planFurtherAttempt(forwarding, context);
+  return plan === null ? null : { plan, from: 'last-event' };
 };
 
 /**
@@ -102,11 +111,17 @@
   const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
   const describe = (response: SilenceResponse): GatewayEffect =>
     describeSilence(forwarding, attempt, silentMs, response);
-  const plan = planContinuation(forwarding, attempt, context);
-  if (plan === null) return [describe('no-endpoint')];
-  const { outcome, effects } = takeFromBudget(forwarding, 'continuation', context);
-  if (outcome === 'spent') return [...effects, describe('budget-spent')];
-  return [...effects, describe('continued'), ...openContinuation(forwarding, plan, context)];
+  const planned = planContinuation(forwarding, attempt, context);
+  if (planned === null) return [describe('no-endpoint')];
+  const { from, plan } = planned;
+  const send = { kind: 'continuation', from } as const;
+  const { decision, effects } = decideFurtherSend(forwarding, send, context);
+  if (decision.kind === 'denied') {
+    const response = decision.reason === 'budget-spent' ? 'budget-spent' : 'no-endpoint';
+    return [...effects, describe(response)];
+  }
+  const opened = openContinuation(forwarding, plan, decision.permit, context);
+  return [...effects, describe('continued'), ...opened];
 };
 
 /**
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -14,6 +14,7 @@
 } from './constants.js';
 import { finishStream } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { decideFurtherSend } from './sendDecisions.js';
 import { findMissingPart } from './streamEnd.js';
 import { computeTransferPriority } from './load.js';
 import { releaseCopy } from './generationCopy.js';
@@ -177,13 +178,17 @@
   const plan =
     planFromCopy(forwarding, { holder: endpoint, name: copy }, context) ??
     planFromCopy(forwarding, fallback, context);
-  if (plan !== null) {
+  const moved = plan === null ? null : decideFurtherSend(forwarding, { kind: 'transfer' }, context);
+  if (plan !== null && moved?.decision.kind === 'permitted') {
+    const { decision, effects } = moved;
     removeAttempt(forwarding, attempt, context.state);
     const isBack = plan.endpoint.id === attempt.endpoint.id;
     const refused = isBack ? { refusedTargets: attempt.refusedTargets } : {};
+    const opened = { ...plan, fallback, ...refused };
     return [
+      ...effects,
       { kind: 'cancel-attempt', key, attempt: attempt.number },
-      ...openContinuation(forwarding, { ...plan, fallback, ...refused }, context),
+      ...openContinuation(forwarding, opened, decision.permit, context),
     ];
   }
   const end = {
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -10,6 +10,7 @@
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
 import type { HolderState, ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { BudgetWindow } from '../../decisions/forwarding/retryBudget.js';
+import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { ContentCheck } from '../../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints } from '../../decisions/quarantine/types.js';
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
@@ -22,9 +23,6 @@
   ServiceName,
 } from '../../decisions/forwarding/types.js';
 
-/** Why an attempt is made. */
-export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'continuation';
-
 /**
  * Transfer of a running generation to another endpoint. Transfers from one source run one at a
  * time, since they share its network link. The source keeps running the generation while it is
@@ -57,7 +55,8 @@
 export interface Attempt {
   readonly number: number;
   readonly endpoint: EndpointRecord;
-  readonly purpose: AttemptPurpose;
+  /** Permission to send the request, and what the attempt is for. */
+  readonly permit: SendPermit;
   readonly startedAt: Millis;
   /**
    * Endpoint to which the generation is replicated from its start; null without a backup, or when a
@@ -113,6 +112,10 @@
   readonly attempts: Map<number, Attempt>;
   readonly tried: Set<EndpointId>;
   attemptsMade: number;
+  /** Number of attempts that were sent. */
+  sends: number;
+  /** Permission with which the request waits for an endpoint; null while it does not wait. */
+  waitingPermit: SendPermit | null;
   /** Number of ended attempts that may have run the request. */
   possibleRuns: number;
   /** Number of times that the generation waited for its transfer again. */
