Let a young gateway continue its own runs from their copies

A continuation from a copy is the same run. A life of a process has no more of them than requests that it began, so they use the daemon's part of the slack from its start. All other sends wait for the window.

--- a/packages/decisions/forwarding/fleetHistory.fixture.ts
+++ b/packages/decisions/forwarding/fleetHistory.fixture.ts
@@ -93,7 +93,10 @@
     for (let request = 0; request < arrived; request += 1) {
       countRequest(daemon.window, FLEET_BUDGET, now);
       const isFailing = (request + 0.5) / arrived < failingShare;
-      if (isFailing && takeRetry(daemon.window, FLEET_BUDGET, fleet, now).charge !== null)
+      if (
+        isFailing &&
+        takeRetry(daemon.window, FLEET_BUDGET, 'another-run', fleet, now).charge !== null
+      )
         taken += 1;
     }
     return taken;
--- a/packages/decisions/forwarding/retryBudget.test.ts
+++ b/packages/decisions/forwarding/retryBudget.test.ts
@@ -15,7 +15,7 @@
 /** Takes all retries that the budget permits at an instant. */
 const takeAllRetries = (window: BudgetWindow, fleet: FleetKnowledge, now: number): number => {
   let taken = 0;
-  while (takeRetry(window, SETTINGS, fleet, now).charge !== null) taken += 1;
+  while (takeRetry(window, SETTINGS, 'another-run', fleet, now).charge !== null) taken += 1;
   return taken;
 };
 
@@ -61,7 +61,8 @@
       if (!isRetry) {
         countRequest(window, SETTINGS, now);
         requests.push(now);
-      } else if (takeRetry(window, SETTINGS, buildFleet(1), now).charge !== null) retries.push(now);
+      } else if (takeRetry(window, SETTINGS, 'another-run', buildFleet(1), now).charge !== null)
+        retries.push(now);
     }
     for (const end of retries) {
       const inWindow = (at: number): boolean => at <= end && at > end - SETTINGS.windowMs;
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -66,6 +66,7 @@
 
 /** A retry that counts in a window; only this module updates it. */
 export interface RetryCharge {
+  readonly claim: RetryClaim;
   bucket: Bucket;
 }
 
@@ -95,14 +96,22 @@
   return (inWindow + sumRequests(window, from - half, from + half)) / 2;
 };
 
+/**
+ * What a retry is for. `same-run` continues a run that this life of the process began: there are no
+ * more of them than requests of this life, so they may use the slack from its start.
+ */
+export type RetryClaim = 'another-run' | 'same-run';
+
 const computeSlackShare = (
   { countedFrom }: BudgetWindow,
   { slack, windowMs }: RetryBudgetSettings,
+  claim: RetryClaim,
   fleet: FleetKnowledge,
   now: Millis,
 ): number => {
   const retentionMs = (windowMs * RETRY_BUCKETS) / BUDGET_BUCKETS;
-  return computeFleetShare(slack, retentionMs, now - countedFrom, fleet);
+  const countedMs = claim === 'same-run' ? retentionMs : now - countedFrom;
+  return computeFleetShare(slack, retentionMs, countedMs, fleet);
 };
 
 /**
@@ -112,6 +121,7 @@
  *
  * @param window - window of the service
  * @param settings - limits of the budget
+ * @param claim - what the retry is for
  * @param fleet - what this daemon knows of the daemons that share the slack
  * @param now - current instant
  * @returns the decision
@@ -119,11 +129,12 @@
 export const takeRetry = (
   window: BudgetWindow,
   settings: RetryBudgetSettings,
+  claim: RetryClaim,
   fleet: FleetKnowledge,
   now: Millis,
 ): RetryDecision => {
   const current = findBucket(window, settings, now);
-  const slackShare = computeSlackShare(window, settings, fleet, now);
+  const slackShare = computeSlackShare(window, settings, claim, fleet, now);
   const firstOfWindow = current.number - BUDGET_BUCKETS + 1;
   let retries = 0;
   let isSpent = false;
@@ -136,11 +147,11 @@
   }
   if (!isSpent) current.retries += 1;
   const requests = sumRequests(window, firstOfWindow, current.number + 1);
-  return { charge: isSpent ? null : { bucket: current }, requests, retries };
+  return { charge: isSpent ? null : { claim, bucket: current }, requests, retries };
 };
 
 /**
- * Counts a retry whatever the budget permits.
+ * Counts a retry of a run whatever the budget permits.
  *
  * @param window - window of the service
  * @param settings - limits of the budget
@@ -154,7 +165,7 @@
 ): RetryCharge => {
   const bucket = findBucket(window, settings, now);
   bucket.retries += 1;
-  return { bucket };
+  return { claim: 'same-run', bucket };
 };
 
 /**
@@ -185,7 +196,7 @@
 ): 'sent' | 'spent' => {
   if (charge.bucket === findBucket(window, settings, now)) return 'sent';
   releaseRetry(charge);
-  const { charge: moved } = takeRetry(window, settings, fleet, now);
+  const { charge: moved } = takeRetry(window, settings, charge.claim, fleet, now);
   if (moved === null) return 'spent';
   charge.bucket = moved.bucket;
   return 'sent';
--- a/packages/decisions/forwarding/sendPermits.test.ts
+++ b/packages/decisions/forwarding/sendPermits.test.ts
@@ -82,6 +82,13 @@
   t.is(admit(RETRY, {}, budget).kind, 'denied');
 });
 
+// Guards against streams that a restarted daemon loses with their engine, though their copies are sound.
+test('a daemon that has just started continues its own runs from their copies', (t) => {
+  const budget = { ...buildBudget(), window: createBudgetWindow(0) };
+  t.is(admit(RETRY, {}, budget).kind, 'denied');
+  t.is(admit(FROM_COPY, {}, budget).kind, 'permitted');
+});
+
 // Guards against retries of a paused daemon that arrive together with those of the next window.
 test('a retry that is sent later than it was decided counts when it is sent', (t) => {
   const budget = buildBudget();
--- a/packages/decisions/forwarding/sendPermits.ts
+++ b/packages/decisions/forwarding/sendPermits.ts
@@ -131,7 +131,9 @@
     const permit = issuePermit(purpose, recordRetry(window, settings, now));
     return { kind: 'permitted', permit, budget: null };
   }
-  const budget = takeRetry(window, settings, fleet, now);
+  const isSameRun = send.kind === 'continuation' && send.from === 'copy';
+  const claim = isSameRun ? 'same-run' : 'another-run';
+  const budget = takeRetry(window, settings, claim, fleet, now);
   return budget.charge === null
     ? { kind: 'denied', reason: 'budget-spent', budget }
     : { kind: 'permitted', permit: issuePermit(purpose, budget.charge), budget };
