Hand on the time that is left when a request is sent

Cause: the head was encoded with the time left when the attempt was decided. The connection stands up to 250 ms later, and a gateway that stands still between the two handed on the whole pause.

The endpoint client connects first, and the head is encoded when the request is sent, with the time that the decision to send it gives.

--- a/packages/gateway/endpoints/endlessAnswer.test.ts
+++ b/packages/gateway/endpoints/endlessAnswer.test.ts
@@ -10,7 +10,7 @@
   const server = await startEndlessServer(t, head, piece);
   const client = createTestClient((event) => {
     events.push(event);
-    if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
+    if (event.kind === 'attempt-connected') client.send(event.key, event.attempt, 1_000);
   });
   client.open(buildOrder(server.port));
   return { events, bytes: await server.taken };
--- a/packages/gateway/endpoints/endpointClient.fixture.ts
+++ b/packages/gateway/endpoints/endpointClient.fixture.ts
@@ -42,7 +42,6 @@
   address: { host: '127.0.0.1', port },
   head: {
     endpointId: 'e-1',
-    leftMs: 1_000,
     customer: null,
     rank: null,
     lastEventId: null,
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -29,7 +29,7 @@
   await new Promise<void>((resolve) => {
     const client = createTestClient((event) => {
       events.push(event);
-      if (event.kind === 'attempt-connected') client.send(event.key, event.attempt);
+      if (event.kind === 'attempt-connected') client.send(event.key, event.attempt, 1_000);
       if (event.kind === 'answer-ended' || event.kind === 'attempt-failed') resolve();
     });
     client.open(buildOrder((server.address() as AddressInfo).port));
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -1,8 +1,10 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { limitOverhead } from '../../core/http/answerLimits.js';
 import { reportResets } from '../../core/http/connectionResets.js';
+import type { Millis } from '../../core/clock.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
@@ -14,8 +16,8 @@
 export interface EndpointClient {
   /** Connects to the endpoint of an attempt; nothing is sent before `send`. */
   readonly open: (order: AttemptOrder) => void;
-  /** Sends the request of a connected attempt. */
-  readonly send: (key: number, attempt: number) => void;
+  /** Sends the request of a connected attempt, with the time left until its deadline. */
+  readonly send: (key: number, attempt: number, leftMs: Millis) => void;
   /** Closes the connection of an attempt, which cancels the request at the endpoint. */
   readonly cancel: (key: number, attempt: number) => void;
   /** Opens a connection to an endpoint and closes it at once. */
@@ -24,8 +26,8 @@
 }
 
 interface RunningAttempt {
-  readonly outgoing: ClientRequest;
-  readonly send: () => void;
+  readonly socket: Socket;
+  readonly send: (leftMs: Millis) => void;
 }
 
 const toAttemptId = (key: number, attempt: number): string =>
@@ -99,12 +101,13 @@
     let phase: 'connecting' | 'connected' | 'sent' | 'ended' = 'connecting';
     let answer: IncomingMessage | null = null;
     let bodyBytes = 0;
+    const socket = connect({ host: address.host, port: address.port, noDelay: true });
 
     const finish = (event: RequestsEvent): void => {
       if (phase === 'ended') return;
       phase = 'ended';
       clearTimeout(connectTimer);
-      if (running.get(attemptId)?.outgoing === outgoing) running.delete(attemptId);
+      if (running.get(attemptId)?.socket === socket) running.delete(attemptId);
       post(event);
     };
 
@@ -122,49 +125,16 @@
 
     const endGarbled = (message: string): void => {
       finish({ ...eventBase, kind: 'attempt-failed', failure: { kind: 'garbled', message } });
-      outgoing.destroy();
+      socket.destroy();
     };
 
-    const outgoing = openRequest({
-      host: address.host,
-      port: address.port,
-      method: request.method,
-      path: request.path,
-      headers: codec.encodeAttempt(request, order.head),
-      agent: false,
-      setHost: false,
-    });
-    running.set(attemptId, {
-      outgoing,
-      send: () => {
-        if (phase !== 'connected') return;
-        phase = 'sent';
-        sendBody(outgoing, request.body);
-      },
-    });
-    const connectTimer = setTimeout(() => {
-      runAfterReads(() => {
-        if (phase !== 'connecting') return;
-        outgoing.destroy(new Error('the connection was not established in time'));
-      });
-    }, CONNECT_TIMEOUT_MS);
+    const endEarlyAnswer = (): void => {
+      endGarbled('the answer came before the request');
+    };
 
-    outgoing.on('socket', (socket) => {
-      reportResets(socket);
-      socket.setNoDelay(true);
-      socket.once('connect', () => {
-        clearTimeout(connectTimer);
-        if (phase !== 'connecting') return;
-        phase = 'connected';
-        post({ ...eventBase, kind: 'attempt-connected' });
-      });
-    });
-    outgoing.on('error', fail);
-    limitOverhead(outgoing, () => bodyBytes, endGarbled);
-    outgoing.on('response', (incoming) => {
+    const receive = (incoming: IncomingMessage): void => {
       answer = incoming;
-      const fault =
-        phase === 'connected' ? 'the answer came before the request' : findHeadFault(incoming);
+      const fault = findHeadFault(incoming);
       if (fault !== null) {
         endGarbled(fault);
         return;
@@ -185,22 +155,63 @@
         if (!incoming.complete)
           fail(new Error('the connection closed before the answer was complete'));
       });
+    };
+
+    const send = (leftMs: Millis): void => {
+      if (phase !== 'connected') return;
+      phase = 'sent';
+      socket.off('data', endEarlyAnswer);
+      const outgoing = openRequest({
+        method: request.method,
+        path: request.path,
+        headers: codec.encodeAttempt(request, order.head, leftMs),
+        createConnection: () => socket,
+        setHost: false,
+      });
+      outgoing.on('error', fail);
+      // From then on errors of the connection are those of the request.
+      outgoing.once('socket', () => {
+        socket.off('error', fail);
+      });
+      limitOverhead(outgoing, () => bodyBytes, endGarbled);
+      outgoing.on('response', receive);
+      outgoing.on('close', () => {
+        if (answer === null) fail(new Error('the connection closed without an answer'));
+      });
+      sendBody(outgoing, request.body);
+    };
+
+    running.set(attemptId, { socket, send });
+    const connectTimer = setTimeout(() => {
+      runAfterReads(() => {
+        if (phase !== 'connecting') return;
+        socket.destroy(new Error('the connection was not established in time'));
+      });
+    }, CONNECT_TIMEOUT_MS);
+    reportResets(socket);
+    socket.once('connect', () => {
+      clearTimeout(connectTimer);
+      if (phase !== 'connecting') return;
+      phase = 'connected';
+      socket.on('data', endEarlyAnswer);
+      post({ ...eventBase, kind: 'attempt-connected' });
     });
-    outgoing.on('close', () => {
-      if (answer === null) fail(new Error('the connection closed without an answer'));
+    socket.on('error', fail);
+    socket.on('close', () => {
+      if (phase !== 'sent') fail(new Error('the connection closed without an answer'));
     });
   };
 
   return {
     open,
-    send: (key, attempt) => {
-      running.get(toAttemptId(key, attempt))?.send();
+    send: (key, attempt, leftMs) => {
+      running.get(toAttemptId(key, attempt))?.send(leftMs);
     },
     cancel: (key, attempt) => {
       const attemptId = toAttemptId(key, attempt);
       const attemptRun = running.get(attemptId);
       running.delete(attemptId);
-      attemptRun?.outgoing.destroy();
+      attemptRun?.socket.destroy();
     },
     probe: ({ host, port }) => {
       const name = `${host}:${port.toString()}`;
@@ -212,7 +223,7 @@
       return probe;
     },
     close: () => {
-      for (const { outgoing } of running.values()) outgoing.destroy();
+      for (const { socket } of running.values()) socket.destroy();
       running.clear();
     },
   };
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -260,7 +260,13 @@
     }
   /** Connects to the endpoint; `send-attempt` sends the request. */
   | { readonly kind: 'open-attempt'; readonly order: AttemptOrder }
-  | { readonly kind: 'send-attempt'; readonly key: number; readonly attempt: number }
+  | {
+      readonly kind: 'send-attempt';
+      readonly key: number;
+      readonly attempt: number;
+      /** Time left until the deadline of the answer. */
+      readonly leftMs: Millis;
+    }
   | {
       readonly kind: 'start-transfer';
       readonly key: number;
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -278,7 +278,7 @@
       endpoints.open(effect.order);
       return;
     case 'send-attempt':
-      endpoints.send(effect.key, effect.attempt);
+      endpoints.send(effect.key, effect.attempt, effect.leftMs);
       return;
     case 'read-report':
       readReport(effect, adapters);
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -170,7 +170,6 @@
         request,
         head: {
           endpointId: endpoint.id,
-          leftMs: Math.max(1, Math.floor(forwarding.deadlineAt - now)),
           customer: customer?.name ?? null,
           rank: service.engine === null ? null : route.rank,
           lastEventId:
--- a/packages/gateway/requests/sendAttempt.ts
+++ b/packages/gateway/requests/sendAttempt.ts
@@ -46,7 +46,12 @@
   attempt.phase = 'sent';
   forwarding.sends += 1;
   return [
-    { kind: 'send-attempt', key: forwarding.request.key, attempt: attempt.number },
+    {
+      kind: 'send-attempt',
+      key: forwarding.request.key,
+      attempt: attempt.number,
+      leftMs: Math.max(1, Math.floor(forwarding.deadlineAt - now)),
+    },
     ...startOverlap(forwarding, attempt),
     ...startRunChecks(forwarding, attempt, context),
   ];
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -139,8 +139,6 @@
 /** Fields of an attempt's head that are not part of the caller's request. */
 export interface AttemptHead {
   readonly endpointId: EndpointId;
-  /** Time left until the deadline of the answer. */
-  readonly leftMs: Millis;
   readonly customer: CustomerId | null;
   /** Priority at the endpoint, 0 is the most urgent; null for a service without engines. */
   readonly rank: number | null;
@@ -258,7 +256,12 @@
     path: string,
     rawHeaders: readonly string[],
   ) => CallerHead;
-  readonly encodeAttempt: (request: ForwardRequest, head: AttemptHead) => readonly string[];
+  /** Encodes the head of an attempt; `leftMs` is the time left until the deadline of the answer. */
+  readonly encodeAttempt: (
+    request: ForwardRequest,
+    head: AttemptHead,
+    leftMs: Millis,
+  ) => readonly string[];
   readonly decodeAnswer: (status: number, rawHeaders: readonly string[]) => AnswerHead;
   readonly isReadinessPath: (path: string) => boolean;
 }
