Read what has arrived before each step of the end of a drain

Callers saw: requests that were sent 0.25 s before the end of a stopping gateway, and more than 0.2 s before their connections were closed, got neither an answer nor a refusal; answers that workers had given in time became 502, and streams were cut (LOST).

Cause: a process that had no processor for some tenths of a second runs its timers before it reads. The checks of the drain that were overdue were posted to the queue, which is emptied in one go, so the process went from draining to its exit without reading a socket. Class: input is judged before it is read, as with idle timers.

Change: a check that is due asks for another one after the sockets have been read, and only that one takes the step. It costs two turns of the loop for each of the three steps, and no timer.

--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -209,7 +209,8 @@
 export type FrontendEvent = { readonly to: 'frontend' } & (
   | { readonly kind: 'caller-arrived'; readonly request: ForwardRequest }
   | { readonly kind: 'drain-started' }
-  | { readonly kind: 'drain-checked' }
+  /** `reads` tells whether all that arrived before the check was due has been read. */
+  | { readonly kind: 'drain-checked'; readonly reads: 'due' | 'done' }
 );
 
 export type GatewayEvent =
@@ -233,6 +234,8 @@
 
 export type GatewayEffect =
   | { readonly kind: 'post'; readonly event: GatewayEvent }
+  /** Posts an event once all sockets that have data now have been read. */
+  | { readonly kind: 'post-after-reads'; readonly event: GatewayEvent }
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: GatewayEvent }
   | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
   | {
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -11,7 +11,11 @@
 import { createVirtualClock } from '../../core/clock.js';
 import type { FrontendEvent, GatewayEffect } from '../events.js';
 
-const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked' };
+/** A check after all that had arrived has been read. */
+const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked', reads: 'done' };
+
+/** A check that a timer has started. */
+const DUE: FrontendEvent = { ...CHECKED, reads: 'due' };
 
 const createHarness = (
   open: { count: number },
@@ -38,11 +42,11 @@
     post: (event: FrontendEvent) => decide(event).map(({ kind }) => kind),
     /** Runs the checks of the drain until the process ends; each timer is late by `lateMs`. */
     runChecks: (lateMs: number) => {
-      let effects = decide(CHECKED);
+      let effects = decide(DUE);
       while (!effects.some(({ kind }) => kind === 'end-process')) {
         const timer = effects.find((effect) => effect.kind === 'schedule');
         clock.advance(timer === undefined ? 0 : timer.delayMs + lateMs);
-        effects = decide(CHECKED);
+        effects = decide(timer === undefined ? CHECKED : DUE);
       }
     },
   };
@@ -69,6 +73,31 @@
   t.deepEqual(harness.post(CHECKED), ['end-process']);
 });
 
+// Guards against requests and answers that have arrived and are not read: a process that had no processor
+// runs its timers before it reads, and all steps of the end are overdue then.
+test('each step of the end waits until all that has arrived has been read', (t) => {
+  const harness = createHarness({ count: 3 });
+  harness.post({ to: 'frontend', kind: 'drain-started' });
+  harness.clock.advance(7_700);
+  t.deepEqual(harness.post(DUE), ['post-after-reads']);
+  t.deepEqual(harness.post(CHECKED), ['post', 'post-after-reads']);
+  t.deepEqual(harness.post(DUE), ['post-after-reads']);
+  t.deepEqual(harness.post(CHECKED), ['close-idle', 'post-after-reads']);
+  t.deepEqual(harness.post(DUE), ['post-after-reads']);
+  t.deepEqual(harness.post(CHECKED), ['end-process']);
+});
+
+// Guards against a daemon that ends with a request that was read at the last moment.
+test('a daemon that has drained goes on with a request that it reads before it ends', (t) => {
+  const open = { count: 0 };
+  const harness = createHarness(open);
+  harness.post({ to: 'frontend', kind: 'drain-started' });
+  harness.clock.advance(MIN_DRAIN_MS);
+  t.deepEqual(harness.post(DUE), ['post-after-reads']);
+  open.count = 1;
+  t.deepEqual(harness.post(CHECKED), ['schedule']);
+});
+
 // Guards against a daemon that is killed before it has reported the requests in progress, and against
 // requests that are cut without an answer because the grace period is over.
 test('a busy daemon answers what is left and stops before its grace period ends', (t) => {
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -57,13 +57,20 @@
   }
 };
 
-const DRAIN_CHECKED = { to: 'frontend', kind: 'drain-checked' } as const;
+const CHECK_DUE = { to: 'frontend', kind: 'drain-checked', reads: 'due' } as const;
+
+/**
+ * A step of the end waits until all that has arrived has been read. A process that had no processor for a
+ * while runs its timers first, and would end all steps at once with requests and answers unread.
+ */
+const CHECK_AFTER_READS: GatewayEffect = {
+  kind: 'post-after-reads',
+  event: { ...CHECK_DUE, reads: 'done' },
+};
 
 /** A check that is overdue is not left to a timer, which a busy daemon runs late. */
 const checkAfter = (delayMs: Millis): GatewayEffect =>
-  delayMs <= 0
-    ? { kind: 'post', event: DRAIN_CHECKED }
-    : { kind: 'schedule', delayMs, event: DRAIN_CHECKED };
+  delayMs <= 0 ? CHECK_AFTER_READS : { kind: 'schedule', delayMs, event: CHECK_DUE };
 
 const FIRST_DRAIN_CHECK = checkAfter(DRAIN_CHECK_MS);
 
@@ -79,7 +86,11 @@
   graceMs: Millis,
 ): Millis => Math.min(startedAt + durationMs, drainedAt + graceMs - EXIT_RESERVE_MS);
 
-const checkDrain = (state: GateState, inputs: GateInputs): Step<GateState, GatewayEffect> => {
+const checkDrain = (
+  state: GateState,
+  reads: 'due' | 'done',
+  inputs: GateInputs,
+): Step<GateState, GatewayEffect> => {
   const now = inputs.clock.now();
   const left = inputs.countOpen();
   const graceMs = inputs.getGraceMs();
@@ -92,6 +103,7 @@
       const isDrained = left === 0 && now - drainedAt >= MIN_DRAIN_MS;
       if (!isDrained && overdueInMs > 0)
         return toStep(state, checkAfter(Math.min(DRAIN_CHECK_MS, overdueInMs)));
+      if (reads === 'due') return toStep(state, CHECK_AFTER_READS);
       const endsAt = computeStepEnd(now, FINAL_ANSWER_GRACE_MS, state, graceMs);
       return toStep<GateState, GatewayEffect>(
         { phase: 'ending', drainedAt, endedAt: now },
@@ -102,6 +114,7 @@
     case 'ending': {
       const endsAt = computeStepEnd(state.endedAt, FINAL_ANSWER_GRACE_MS, state, graceMs);
       if (left > 0 && now < endsAt) return toStep(state, checkAfter(endsAt - now));
+      if (reads === 'due') return toStep(state, CHECK_AFTER_READS);
       const closedUntil = computeStepEnd(now, CLOSE_IDLE_GRACE_MS, state, graceMs);
       return toStep<GateState, GatewayEffect>(
         { phase: 'closing', drainedAt: state.drainedAt, closedAt: now },
@@ -111,9 +124,11 @@
     }
     case 'closing': {
       const endsAt = computeStepEnd(state.closedAt, CLOSE_IDLE_GRACE_MS, state, graceMs);
-      return now < endsAt
-        ? toStep(state, checkAfter(endsAt - now))
-        : toStep<GateState, GatewayEffect>(state, { kind: 'end-process', left });
+      if (now < endsAt) return toStep(state, checkAfter(endsAt - now));
+      return toStep<GateState, GatewayEffect>(
+        state,
+        reads === 'due' ? CHECK_AFTER_READS : { kind: 'end-process', left },
+      );
     }
     default:
       return assertNever(state);
@@ -153,7 +168,7 @@
         );
       }
       case 'drain-checked':
-        return checkDrain(state, inputs);
+        return checkDrain(state, event.reads, inputs);
       default:
         return assertNever(event);
     }
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -17,6 +17,7 @@
 } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
+import { runAfterReads } from '../core/loop/runAfterReads.js';
 import type { Loop } from '../core/loop/types.js';
 import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createFailure } from '../core/verdict.js';
@@ -247,6 +248,11 @@
     case 'post':
       loop().post(effect.event);
       return;
+    case 'post-after-reads':
+      runAfterReads(() => {
+        loop().post(effect.event);
+      });
+      return;
     case 'schedule':
       loop().schedule(effect.delayMs, effect.event);
       return;
