--- a/packages/core/openAddress.test.ts
+++ b/packages/core/openAddress.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import test from 'ava';
-import { openAddress } from './openAddress.js';
+import { openAddress, openListener } from './openAddress.js';
 
 const HOST = '127.0.0.1';
 
@@ -47,3 +47,29 @@
   );
   t.is(tries, 1);
 });
+
+// Guards against a listener that stays from each failed try and is called when the server opens.
+test('a failed try leaves nothing in the server', async (t) => {
+  const holder = createServer();
+  await openServer(holder, 0);
+  t.teardown(() => holder.close());
+  const { port } = holder.address() as AddressInfo;
+  const server = createServer();
+  for (let tries = 0; tries < 3; tries += 1)
+    await t.throwsAsync(openListener(server, { host: HOST, port }), { code: 'EADDRINUSE' });
+  t.is(server.listenerCount('listening') + server.listenerCount('error'), 0);
+});
+
+// Guards against a daemon that goes on to open an address after it has stopped.
+test('the signal ends the tries', async (t) => {
+  const abort = new AbortController();
+  const error = Object.assign(new Error('in use'), { code: 'EADDRINUSE' });
+  const opened = openAddress(
+    () => Promise.reject(error),
+    () => {
+      abort.abort();
+    },
+    { maxWaitMs: Infinity, signal: abort.signal },
+  );
+  await t.throwsAsync(opened, { name: 'AbortError' });
+});
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -12,6 +12,7 @@
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
 import { createRequestBodies } from '../../core/http/requestBodies.js';
+import { openListener } from '../../core/openAddress.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { MemoryAccount } from '../../core/memory/types.js';
@@ -224,14 +225,7 @@
   });
 
   return {
-    listen: ({ host, port }) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    listen: ({ host, port }) => openListener(server, { host, port, backlog: LISTEN_BACKLOG }),
     applyLimits: (idleTimeoutMs, headerTimeoutMs, maxBodyBytes) => {
       server.keepAliveTimeout = idleTimeoutMs;
       server.headersTimeout = headerTimeoutMs;
--- a/packages/gateway/frontend/statusServer.ts
+++ b/packages/gateway/frontend/statusServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { openListener } from '../../core/openAddress.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
 
 /** A page about the daemon itself, such as its readiness. */
@@ -39,14 +40,7 @@
       });
   });
   return {
-    listen: ({ host, port }) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, host, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    listen: ({ host, port }) => openListener(server, { host, port }),
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -87,12 +87,18 @@
     events.record('address-unavailable', { data: { error: message } });
   };
   await openAddress(peers.open, onAddressRetry);
+  // Callers are served without the metrics, so nothing waits for their address.
+  const metricsAbort = new AbortController();
+  openAddress(() => metricsServer.listen(settings.metrics), onAddressRetry, {
+    maxWaitMs: Infinity,
+    signal: metricsAbort.signal,
+  }).catch((error: unknown) => {
+    if (!metricsAbort.signal.aborted) onPageError(error);
+  });
   await Promise.all(
-    [
-      () => callers.listen(settings.callers),
-      () => readinessServer.listen(settings.readiness),
-      () => metricsServer.listen(settings.metrics),
-    ].map((listen) => openAddress(listen, onAddressRetry)),
+    [() => callers.listen(settings.callers), () => readinessServer.listen(settings.readiness)].map(
+      (listen) => openAddress(listen, onAddressRetry),
+    ),
   );
   const loadTimer = setTimeout(() => {
     metrics.load().catch(onPageError);
@@ -105,6 +111,7 @@
     const left = reason.kind === 'drained' ? reason.left : 0;
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     clearTimeout(loadTimer);
+    metricsAbort.abort();
     daemon.stop();
     cradle.endpoints.close();
     ports.feeds.close();
