--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -30,6 +30,11 @@
     level: 'error',
     text: 'An error escaped the supervisor tree; the process exits with code 70.',
   },
+  'error-uncaught': {
+    number: 1010,
+    level: 'error',
+    text: 'An error was thrown or rejected where nothing catches it; the daemon goes on, and drains after more than 10 in a minute.',
+  },
   'pause-detected': {
     number: 1006,
     level: 'warn',
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -10,6 +10,8 @@
 export interface RunningGateway {
   /** Drains and stops the daemon; resolves when no work is left or the grace period is over. */
   readonly stop: () => Promise<void>;
+  /** Logs an error that nothing caught. */
+  readonly reportError: (error: unknown) => void;
   /** Applies the changed settings that do not need a restart. */
   readonly reload: (settings: GatewaySettings) => void;
   /** Resolves with the reason once the daemon has ended. */
@@ -37,6 +39,9 @@
   };
 };
 
+const formatError = (error: unknown): string =>
+  error instanceof Error ? (error.stack ?? error.message) : String(error);
+
 /** Sets the gauges of who holds how much of the memory that others can fill. */
 const publishMemory = ({ metrics, ports }: GatewayCradle): void => {
   const { accounts } = ports.memory;
@@ -129,6 +134,9 @@
       daemon.loop.post({ to: 'frontend', kind: 'drain-started' });
       await close;
     },
+    reportError: (error) => {
+      events.record('error-uncaught', { data: { error: formatError(error) } });
+    },
     reload: ({ live }) => {
       cradle.live.current = live;
       events.record('settings-reloaded', { data: { seeds: live.seeds.length } });
