Start and keep the entry and the endpoint daemon as the gateway

Seen, with the daemons as processes: (1) an address in use at the start ends the endpoint daemon with exit code 70 (rpc); for the entry daemon's addresses and the endpoint daemon's http address the process neither serves nor ends. (2) One promise that is rejected without a handler ends either with exit code 1.

Cause: (1) each address was opened once, as in the gateway before, and a start that failed only set the exit code, while the parts that had started kept the process. (2) As in the gateway, no policy for such errors.

--- a/packages/core/supervision/uncaughtErrors.ts
+++ b/packages/core/supervision/uncaughtErrors.ts
@@ -22,15 +22,23 @@
  * event loop, which has handlers of its own.
  *
  * @param options - handlers of the errors
+ * @returns a function that tells whether there have been more errors than the intensity allows
  */
-export const handleUncaughtErrors = ({ onError, onTooMany }: UncaughtErrorOptions): void => {
+export const handleUncaughtErrors = ({
+  onError,
+  onTooMany,
+}: UncaughtErrorOptions): (() => 'few' | 'too-many') => {
   let history: RestartHistory = [];
+  let errors: 'few' | 'too-many' = 'few';
   process.on('uncaughtException', (error) => {
     onError(error);
     const now = performance.now();
     const names = [CHILD];
     const result = decideRestart('permanent', 'one-for-one', names, CHILD, INTENSITY, history, now);
     history = result.history;
-    if (result.decision.kind === 'escalate') onTooMany();
+    if (result.decision.kind !== 'escalate') return;
+    errors = 'too-many';
+    onTooMany();
   });
+  return () => errors;
 };
--- a/packages/endpoint/main.ts
+++ b/packages/endpoint/main.ts
@@ -1,5 +1,7 @@
 import { wireEndpointDaemon } from './wiring.js';
 import type { EndReason } from './wiring.js';
+import { formatError } from '../core/events/formatError.js';
+import { openAddress } from '../core/openAddress.js';
 import type { EndpointSettings } from '../settings/types.js';
 
 /** Maximum time for closing the connections once all work has ended. */
@@ -15,6 +17,8 @@
   readonly urls: Readonly<Record<string, string>>;
   /** Drains and stops the daemon; resolves when no work is left or the drain time has elapsed. */
   readonly stop: () => Promise<void>;
+  /** Logs an error that nothing caught. */
+  readonly reportError: (error: unknown) => void;
   /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
 }
@@ -32,8 +36,12 @@
   });
   const { cradle } = wireEndpointDaemon(settings, resolveEnded);
   const { daemon, rpc, http, urls, events } = cradle;
-  urls.rpc = await rpc.listen(settings.rpc.host, settings.rpc.port);
-  urls.http = await http.listen({ host: settings.http.host, port: settings.http.port });
+  const onRetry = ({ message }: Error): void => {
+    events.record('address-unavailable', { data: { error: message } });
+  };
+  const { host, port } = settings.http;
+  urls.rpc = await openAddress(() => rpc.listen(settings.rpc.host, settings.rpc.port), onRetry);
+  urls.http = await openAddress(() => http.listen({ host, port }), onRetry);
   daemon.start();
   events.record('daemon-started', { data: { rpc: urls.rpc, http: urls.http } });
 
@@ -59,6 +67,9 @@
       daemon.loop.post({ to: 'rpc', kind: 'drain-started', reason: 'stop requested' });
       await closed;
     },
+    reportError: (error) => {
+      events.record('error-uncaught', { data: { error: formatError(error) } });
+    },
     ended: closed,
   };
 };
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -1,5 +1,7 @@
 import { wireEntryDaemon } from './wiring.js';
 import type { EndReason } from './wiring.js';
+import { formatError } from '../core/events/formatError.js';
+import { openAddress } from '../core/openAddress.js';
 import { createFailure } from '../core/verdict.js';
 import type { EntrySettings } from '../settings/types.js';
 
@@ -14,6 +16,8 @@
   readonly urls: Readonly<Record<string, string>>;
   /** Drains and stops the daemon; resolves when no work is left or the drain time has elapsed. */
   readonly stop: () => Promise<void>;
+  /** Logs an error that nothing caught. */
+  readonly reportError: (error: unknown) => void;
   /** Resolves with the reason once the daemon has ended. */
   readonly ended: Promise<EndReason>;
 }
@@ -33,8 +37,15 @@
   const { daemon, callers, heartbeats, events } = cradle;
   // The supervisor tree starts before the servers listen, because each request is an event for it.
   daemon.start();
-  const rpc = await heartbeats.listen(settings.rpc.host, settings.rpc.port);
-  const http = await callers.listen({ host: settings.callers.host, port: settings.callers.port });
+  const onRetry = ({ message }: Error): void => {
+    events.record('address-unavailable', { data: { error: message } });
+  };
+  const { host, port } = settings.callers;
+  const rpc = await openAddress(
+    () => heartbeats.listen(settings.rpc.host, settings.rpc.port),
+    onRetry,
+  );
+  const http = await openAddress(() => callers.listen({ host, port }), onRetry);
   events.record('daemon-started', { data: { rpc, http } });
 
   const closed = ended.then(async (reason) => {
@@ -56,6 +67,9 @@
       daemon.loop.post({ to: 'frontend', kind: 'drain-started', reason: 'stop requested' });
       await closed;
     },
+    reportError: (error) => {
+      events.record('error-uncaught', { data: { error: formatError(error) } });
+    },
     ended: closed,
   };
 };
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -2,6 +2,7 @@
 import type { StatusPage } from './frontend/statusServer.js';
 import { GATEWAY_HOLDERS } from './memory.js';
 import type { GatewaySettings, HeadCodec } from './types.js';
+import { formatError } from '../core/events/formatError.js';
 import { openAddress } from '../core/openAddress.js';
 import { wireGateway } from './wiring.js';
 import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
@@ -39,9 +40,6 @@
   };
 };
 
-const formatError = (error: unknown): string =>
-  error instanceof Error ? (error.stack ?? error.message) : String(error);
-
 /** Sets the gauges of who holds how much of the memory that others can fill. */
 const publishMemory = ({ metrics, ports }: GatewayCradle): void => {
   const { accounts } = ports.memory;
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -9,6 +9,7 @@
   MAX_CONCURRENT_STREAMS_PER_CONNECTION,
   MAX_MESSAGE_BYTES,
 } from './constants.js';
+import { openListener } from '../core/openAddress.js';
 
 /** Server side of the calls between the daemons. */
 export interface RpcListener {
@@ -39,15 +40,12 @@
     session.on('close', () => sessions.delete(session));
   });
   return {
-    listen: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, host, () => {
-          const address = server.address();
-          const bound = typeof address === 'object' && address !== null ? address.port : port;
-          resolve(`http://${host}:${bound.toString()}`);
-        });
-      }),
+    listen: async (host, port) => {
+      await openListener(server, { host, port });
+      const address = server.address();
+      const bound = typeof address === 'object' && address !== null ? address.port : port;
+      return `http://${host}:${bound.toString()}`;
+    },
     close: () =>
       new Promise((resolve) => {
         server.close(() => {
