--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -2,6 +2,7 @@
 import type { StatusPage } from './frontend/statusServer.js';
 import { GATEWAY_HOLDERS } from './memory.js';
 import type { GatewaySettings, HeadCodec } from './types.js';
+import { formatError } from '../core/events/formatError.js';
 import { openAddress } from '../core/openAddress.js';
 import { wireGateway } from './wiring.js';
 import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
@@ -10,6 +11,8 @@
 export interface RunningGateway {
   /** Drains and stops the daemon; resolves when no work is left or the grace period is over. */
   readonly stop: () => Promise<void>;
+  /** Logs an error that nothing caught. */
+  readonly reportError: (error: unknown) => void;
   /** Applies the changed settings that do not need a restart. */
   readonly reload: (settings: GatewaySettings) => void;
   /** Resolves with the reason once the daemon has ended. */
@@ -87,12 +90,18 @@
     events.record('address-unavailable', { data: { error: message } });
   };
   await openAddress(peers.open, onAddressRetry);
+  // Callers are served without the metrics, so nothing waits for their address.
+  const metricsAbort = new AbortController();
+  openAddress(() => metricsServer.listen(settings.metrics), onAddressRetry, {
+    maxWaitMs: Infinity,
+    signal: metricsAbort.signal,
+  }).catch((error: unknown) => {
+    if (!metricsAbort.signal.aborted) onPageError(error);
+  });
   await Promise.all(
-    [
-      () => callers.listen(settings.callers),
-      () => readinessServer.listen(settings.readiness),
-      () => metricsServer.listen(settings.metrics),
-    ].map((listen) => openAddress(listen, onAddressRetry)),
+    [() => callers.listen(settings.callers), () => readinessServer.listen(settings.readiness)].map(
+      (listen) => openAddress(listen, onAddressRetry),
+    ),
   );
   const loadTimer = setTimeout(() => {
     metrics.load().catch(onPageError);
@@ -105,6 +114,7 @@
     const left = reason.kind === 'drained' ? reason.left : 0;
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     clearTimeout(loadTimer);
+    metricsAbort.abort();
     daemon.stop();
     cradle.endpoints.close();
     ports.feeds.close();
@@ -122,6 +132,9 @@
       daemon.loop.post({ to: 'frontend', kind: 'drain-started' });
       await close;
     },
+    reportError: (error) => {
+      events.record('error-uncaught', { data: { error: formatError(error) } });
+    },
     reload: ({ live }) => {
       cradle.live.current = live;
       events.record('settings-reloaded', { data: { seeds: live.seeds.length } });
