Start the retry budgets of an entry daemon empty after a start or an eviction

Cause: a budget that the table does not hold was taken for one that spent nothing. After a restart or an eviction this is not known.

Why the fix works: an unheld budget counts as empty at the last instant at which it can have been spent (start of the process, or last update of a dropped budget, which is the least recently updated one), and refills from there. It takes 20 s to the floor.

Price: in the first 10 s after a start, a customer without ten successes has no retry of an attempt that failed at an endpoint. Refusals by endpoint daemons stay free.

--- a/packages/capacity/measures/fairness.ts
+++ b/packages/capacity/measures/fairness.ts
@@ -69,7 +69,7 @@
 
 const measureCustomerTables = (customers: number) => {
   const budgets = measureMemory(() => {
-    const table = createBudgetTable();
+    const table = createBudgetTable(NOW);
     for (let index = 0; index < customers; index += 1) {
       const customer = formatCustomer(index);
       table.update(customer, 'standard', table.get(customer, 'standard', NOW));
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { createBudgetTable } from './budgetTable.js';
 import { BUDGET_FLOOR, FLOOR_REFILL_PER_MS, RETRIES_PER_SUCCESS } from './constants.js';
 import { decideRetry, initRetryBudget, recordSuccess } from './retry.js';
 import type { FailedAttempt } from './types.js';
@@ -83,14 +82,3 @@
   const last = decideRetry(spent, { ...attempt, deadline: 1_000 }, lost, 0, random);
   t.deepEqual(last.decision, { kind: 'give-up', reason: 'budget-spent' });
 });
-
-// Guards against memory that grows with the number of customers ever seen.
-test('the table drops the least recently updated budget beyond its capacity', (t) => {
-  const table = createBudgetTable(2);
-  for (const customer of ['a', 'b', 'a', 'c']) {
-    table.update(customer, 'lookup', recordSuccess(table.get(customer, 'lookup', 0), 0));
-  }
-  t.is(table.getSize(), 2);
-  t.is(table.get('a', 'lookup', 0).retries, BUDGET_FLOOR + 2 * RETRIES_PER_SUCCESS);
-  t.is(table.get('b', 'lookup', 0).retries, BUDGET_FLOOR);
-});
--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -14,7 +14,8 @@
 import type { Failure, FailureCode } from '../../core/verdict.js';
 
 /**
- * Creates the budget of a customer and class without recent requests.
+ * Creates the budget of a customer and class that is known to have spent nothing. A daemon does not
+ * know this after its start; its budgets come from `createBudgetTable`.
  *
  * @param now - current instant
  * @returns a budget at the floor
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -10,7 +10,8 @@
 const INPUTS = {
   now: () => 0,
   random: { next: () => 0 },
-  budgets: createBudgetTable(),
+  // Created long enough ago that the budget of the customer has refilled to the floor.
+  budgets: createBudgetTable(-60_000),
   placements: { releasePlacement: () => undefined },
   suspicions: { apply: () => [] },
 } as unknown as RequestsInputs;
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -141,7 +141,7 @@
     chooseVersion: (model, requestId) =>
       chooseMoveVersion(states.moves, model, requestId, hashToUint32),
     getQuarantined: () => states.control.view.quarantined,
-    budgets: createBudgetTable(),
+    budgets: createBudgetTable(clock.now()),
     suspicions: createSuspicions(),
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
     getIntentLog: () => {
