Send requests of the entry daemon only with a permit of one owner

Cause, one for three faults: a retry was a value that anybody could decide and anybody could send, and nothing tied the charge and the deadline to the send. - Retries were charged when they were decided. Those that waited for an endpoint left together. - A due retry, or a queued request whose endpoint reported capacity before the tick that expires the queue, was sent past its deadline, as after a pause; a deadline started when the loop took a request up. Further nonces of keyed requests were charged nowhere.

They are in one commit since the permit that ends them is one type.

Why the fix works: decisions/retries/sendOwner.ts charges a retry and checks the deadline at the instant of the send, and the effects open-generation and call-endpoint take a SendPermit whose brand only the owner can set. A send without it does not compile (TS2345, TS2353 in the tests that built these messages by hand). The adapter takes the time that is left when it builds the message.

Tests changed: retry.test.ts, attemptsSimulation.fixture.ts and budgetTable.test.ts charge by takeRetry after the decision, with the same bounds; keyedStream.test.ts, outcomes.test.ts and badMessages.test.ts get permits from the owner. No check was removed.

--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -15,6 +15,7 @@
   OpenCall,
   OpenGeneration,
 } from '../entry/requests/endpointMessages.js';
+import { issueFirstPermit } from '../decisions/retries/permit.fixture.js';
 import { MAX_MESSAGE_BYTES } from '../wire/constants.js';
 import {
   CallRequestSchema,
@@ -59,7 +60,7 @@
 /** Creates the endpoint client of an entry daemon; `completed` holds its results. */
 const startEntrySide = (t: ExecutionContext) => {
   const completed = createInbox<EndpointCompletion>();
-  const client = createEndpointClient('entry', completed.push);
+  const client = createEndpointClient('entry', () => 0, completed.push);
   t.teardown(client.close);
   return { client, completed };
 };
@@ -67,7 +68,7 @@
 const buildCall = (url: string, body: Uint8Array): OpenCall => ({
   url,
   requestId: createId(),
-  attempt: 1,
+  permit: issueFirstPermit(60_000),
   customer: 'caroni',
   className: 'standard',
   importance: 'standard',
@@ -79,7 +80,6 @@
   incarnation: INCARNATION,
   nonce: createId(),
   key: 'k',
-  deadlineMs: 60_000,
   fingerprint: 'f',
 });
 
@@ -95,7 +95,7 @@
   className: 'standard',
   route: 'chat',
   importance: 'standard',
-  deadlineMs: 60_000,
+  permit: issueFirstPermit(60_000),
   fingerprint: 'f',
   promptTokens: 1,
   nonce: null,
--- a/packages/decisions/retries/attemptsSimulation.fixture.ts
+++ b/packages/decisions/retries/attemptsSimulation.fixture.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { resolveRefusal } from './refusal.js';
-import { decideRetry, initRetryBudget } from './retry.js';
+import { decideRetry, initRetryBudget, takeRetry } from './retry.js';
 import type { RetryBudget } from './types.js';
 import { createRandomSource } from '../../core/random.js';
 import { createFailure } from '../../core/verdict.js';
@@ -147,12 +147,12 @@
       deadline: DEADLINE_MS,
       minAttemptMs: 1,
     } as const;
-    const outcome = decideRetry(budget, attempt, failure, now, random);
-    budget = outcome.budget;
-    if (outcome.decision.kind === 'give-up') {
+    const decision = decideRetry(budget, attempt, failure, now, random);
+    if (decision.kind === 'give-up') {
       endRequest(request, failure);
       return;
     }
+    ({ budget } = takeRetry(budget, now));
     request.verdict = mergeVerdicts(request.verdict, failure.verdict);
     request.state = 'waiting';
   };
--- a/packages/decisions/retries/budgetTable.test.ts
+++ b/packages/decisions/retries/budgetTable.test.ts
@@ -3,7 +3,7 @@
 import { createBudgetTable } from './budgetTable.js';
 import type { BudgetTable } from './budgetTable.js';
 import { BUDGET_FLOOR, FLOOR_REFILL_PER_MS, RETRIES_PER_SUCCESS } from './constants.js';
-import { decideRetry, recordSuccess } from './retry.js';
+import { decideRetry, recordSuccess, takeRetry } from './retry.js';
 import { createRandomSource } from '../../core/random.js';
 import { createFailure } from '../../core/verdict.js';
 
@@ -57,9 +57,10 @@
       deadline: now + 60_000,
       minAttemptMs: 1,
     } as const;
-    const outcome = decideRetry(budget, attempt, LOST, now, random);
-    table.update(customer, 'lookup', outcome.budget);
-    if (outcome.decision.kind === 'give-up') continue;
+    const decision = decideRetry(budget, attempt, LOST, now, random);
+    const taken = takeRetry(budget, now);
+    table.update(customer, 'lookup', taken.budget);
+    if (decision.kind === 'give-up') continue;
     const count = (retries.get(customer) ?? 0) + 1;
     retries.set(customer, count);
     const credit = (successes.get(customer) ?? 0) * RETRIES_PER_SUCCESS;
--- a/packages/decisions/retries/retry.test.ts
+++ b/packages/decisions/retries/retry.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { BUDGET_FLOOR, FLOOR_REFILL_PER_MS, RETRIES_PER_SUCCESS } from './constants.js';
-import { decideRetry, initRetryBudget, recordSuccess } from './retry.js';
+import { decideRetry, initRetryBudget, recordSuccess, takeRetry } from './retry.js';
 import type { FailedAttempt } from './types.js';
 import { createRandomSource } from '../../core/random.js';
 import { createFailure } from '../../core/verdict.js';
@@ -47,15 +47,18 @@
         continue;
       }
       const { attempt, verdict, code } = event;
-      const outcome = decideRetry(budget, attempt, createFailure(verdict, code, ''), now, random);
-      budget = outcome.budget;
-      if (outcome.decision.kind === 'give-up') continue;
+      const failure = createFailure(verdict, code, '');
+      const decision = decideRetry(budget, attempt, failure, now, random);
+      if (decision.kind === 'give-up') continue;
+      const taken = takeRetry(budget, now);
+      if (taken.kind === 'spent') throw new Error('a retry was decided without a budget');
+      budget = taken.budget;
       retries += 1;
       const allowed = BUDGET_FLOOR + successes * RETRIES_PER_SUCCESS + now * FLOOR_REFILL_PER_MS;
       if (retries > allowed + 1e-6) throw new Error(`${retries.toString()} retries`);
       if (attempt.delivered === 'some') throw new Error('answer was delivered');
       if (attempt.repeat === 'never' && verdict !== 'not-run') throw new Error('may run twice');
-      if (now + outcome.decision.delayMs + attempt.minAttemptMs > attempt.deadline) {
+      if (now + decision.delayMs + attempt.minAttemptMs > attempt.deadline) {
         throw new Error('too late');
       }
     }
@@ -75,10 +78,16 @@
   const lost = createFailure('may-have-run', 'endpoint-lost', 'endpoint lost', 40);
   const random = { next: () => 0.5 };
   const first = decideRetry(initRetryBudget(0), { ...attempt, deadline: 1_000 }, lost, 0, random);
-  t.deepEqual(first.decision, { kind: 'retry', delayMs: 65 });
-  const late = decideRetry(first.budget, { ...attempt, deadline: 60 }, lost, 0, random);
-  t.deepEqual(late.decision, { kind: 'give-up', reason: 'deadline-too-near' });
+  t.deepEqual(first, { kind: 'retry', delayMs: 65 });
+  const late = decideRetry(
+    takeRetry(initRetryBudget(0), 0).budget,
+    { ...attempt, deadline: 60 },
+    lost,
+    0,
+    random,
+  );
+  t.deepEqual(late, { kind: 'give-up', reason: 'deadline-too-near' });
   const spent = { retries: 0.9, updatedAt: 0 };
   const last = decideRetry(spent, { ...attempt, deadline: 1_000 }, lost, 0, random);
-  t.deepEqual(last.decision, { kind: 'give-up', reason: 'budget-spent' });
+  t.deepEqual(last, { kind: 'give-up', reason: 'budget-spent' });
 });
--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -7,7 +7,13 @@
   MAX_ATTEMPTS,
   RETRIES_PER_SUCCESS,
 } from './constants.js';
-import type { FailedAttempt, GiveUpReason, RetryBudget, RetryOutcome } from './types.js';
+import type {
+  FailedAttempt,
+  GiveUpReason,
+  RetryBudget,
+  RetryDecision,
+  TakenRetry,
+} from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { RandomSource } from '../../core/random.js';
@@ -99,14 +105,15 @@
 };
 
 /**
- * Decides whether a failed attempt is retried.
+ * Decides whether a failed attempt is retried. The retry is charged by `takeRetry` when it is sent,
+ * since it may wait for its delay, for an endpoint or for a paused process.
  *
  * @param budget - budget of the request's customer and class
  * @param attempt - the failed attempt and the limits of its request
  * @param failure - why it failed, with a verdict that covers all attempts so far
  * @param now - current instant
  * @param random - source of the jitter
- * @returns the decision and the budget after it
+ * @returns the decision
  */
 export const decideRetry = (
   budget: RetryBudget,
@@ -114,19 +121,28 @@
   failure: Failure,
   now: Millis,
   random: RandomSource,
-): RetryOutcome => {
-  const current = applyFloorRefill(budget, now);
-  const giveUp = (reason: GiveUpReason): RetryOutcome => ({
-    decision: { kind: 'give-up', reason },
-    budget: current,
-  });
+): RetryDecision => {
   const reason = findGiveUpReason(attempt, failure);
-  if (reason !== null) return giveUp(reason);
+  if (reason !== null) return { kind: 'give-up', reason };
   const delayMs = computeDelay(attempt.attempts, failure, random);
-  if (now + delayMs + attempt.minAttemptMs > attempt.deadline) return giveUp('deadline-too-near');
-  if (current.retries < 1) return giveUp('budget-spent');
-  return {
-    decision: { kind: 'retry', delayMs },
-    budget: { ...current, retries: current.retries - 1 },
-  };
+  if (now + delayMs + attempt.minAttemptMs > attempt.deadline) {
+    return { kind: 'give-up', reason: 'deadline-too-near' };
+  }
+  return applyFloorRefill(budget, now).retries < 1
+    ? { kind: 'give-up', reason: 'budget-spent' }
+    : { kind: 'retry', delayMs };
+};
+
+/**
+ * Charges one retry, at the instant at which it is sent.
+ *
+ * @param budget - budget of the request's customer and class
+ * @param now - current instant
+ * @returns whether the budget held a whole retry, and the budget after it
+ */
+export const takeRetry = (budget: RetryBudget, now: Millis): TakenRetry => {
+  const current = applyFloorRefill(budget, now);
+  return current.retries < 1
+    ? { kind: 'spent', budget: current }
+    : { kind: 'taken', budget: { ...current, retries: current.retries - 1 } };
 };
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '../../core/clock.js';
+import type { Failure } from '../../core/verdict.js';
 
 /** Retry budget of one customer in one class. */
 export interface RetryBudget {
@@ -34,8 +35,28 @@
   | { readonly kind: 'retry'; readonly delayMs: Millis }
   | { readonly kind: 'give-up'; readonly reason: GiveUpReason };
 
-/** Retry decision and the budget after it. */
-export interface RetryOutcome {
-  readonly decision: RetryDecision;
-  readonly budget: RetryBudget;
+/** Result of charging one retry, with the budget after it. */
+export type TakenRetry =
+  | { readonly kind: 'taken'; readonly budget: RetryBudget }
+  | { readonly kind: 'spent'; readonly budget: RetryBudget };
+
+/** Why a request is sent to an endpoint daemon. */
+export type SendPurpose =
+  | { readonly kind: 'first' }
+  /** An endpoint daemon refused the attempt before, which ran nowhere and costs no budget. */
+  | { readonly kind: 'after-refusal'; readonly failure: Failure }
+  /** The attempt before failed, so that this one is charged to the retry budget. */
+  | { readonly kind: 'after-failure'; readonly failure: Failure };
+
+declare const SEND_PERMIT: unique symbol;
+
+/** Permission to send a request once. Only the send owner can create one. */
+export interface SendPermit {
+  readonly [SEND_PERMIT]: true;
+  /** `resume`: reads a running generation from its endpoint daemon, and no engine runs again. */
+  readonly purpose: SendPurpose['kind'] | 'resume';
+  /** Number of the attempt, from 1. */
+  readonly attempt: number;
+  /** Deadline of the request. The time that is left of it is taken when the message is built. */
+  readonly deadlineAt: Millis;
 }
--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -10,12 +10,14 @@
   toAttemptOutcome,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
+import { failUnsent, issueSendPermit } from './permits.js';
 import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
 import type { CallState, ClassPolicy, KeyedState, RequestPlacement } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
+import type { SendPermit } from '../../decisions/retries/types.js';
 import type { EntryEffect } from '../events.js';
 import type { ServiceAnswer, ServiceRequest } from '../types.js';
 
@@ -30,16 +32,11 @@
  *
  * @param request - request of the caller
  * @param policy - policy of its class
- * @param inputs - clock
  * @returns the state before the first placement
  */
-export const createCall = (
-  request: ServiceRequest,
-  policy: ClassPolicy,
-  inputs: RequestsInputs,
-): CallState => ({
+export const createCall = (request: ServiceRequest, policy: ClassPolicy): CallState => ({
   kind: 'call',
-  ...createRequestBase(policy, inputs),
+  ...createRequestBase(policy, request),
   request,
 });
 
@@ -50,7 +47,7 @@
  * @param request - call of the caller
  * @param placement - chosen endpoint
  * @param nonce - nonce of a call that runs at most once, else null
- * @param inputs - clock
+ * @param permit - permission to send the attempt
  * @returns log and call effects
  */
 export const buildCallEffects = (
@@ -58,10 +55,10 @@
   request: ServiceRequest,
   placement: RequestPlacement,
   nonce: string | null,
-  inputs: RequestsInputs,
+  permit: SendPermit,
 ): readonly EntryEffect[] => {
   const { policy } = state;
-  const attempt = state.attempts;
+  const { attempt } = permit;
   return [
     {
       kind: 'log',
@@ -77,7 +74,7 @@
       call: {
         url: placement.url,
         requestId: request.requestId,
-        attempt,
+        permit,
         customer: request.customer,
         className: policy.className,
         importance: policy.importance,
@@ -89,7 +86,6 @@
         incarnation: placement.incarnation,
         nonce,
         key: state.kind === 'keyed' ? state.key : request.key,
-        deadlineMs: Math.max(1, state.deadlineAt - inputs.now()),
         fingerprint: request.fingerprint,
       },
     },
@@ -113,6 +109,8 @@
     case 'fail':
       return failRequest(state, result.failure, inputs);
     case 'placed': {
+      const permit = issueSendPermit(state, state.purpose, inputs);
+      if (permit.isErr()) return failUnsent(state, permit.error, inputs);
       const next: CallState = {
         ...state,
         placement: result.placement,
@@ -122,7 +120,7 @@
       return toStep<CallState, EntryEffect>(
         next,
         ...result.effects,
-        ...buildCallEffects(next, next.request, result.placement, null, inputs),
+        ...buildCallEffects(next, next.request, result.placement, null, permit.value),
       );
     }
     default:
--- a/packages/entry/requests/endpointClient.ts
+++ b/packages/entry/requests/endpointClient.ts
@@ -16,6 +16,7 @@
 } from './endpointMessages.js';
 import { checkSent, getErrorMessage } from './transportErrors.js';
 import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
 import type { GenerationId, Incarnation } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
@@ -57,11 +58,13 @@
  * Creates the adapter that calls endpoint daemons. Each completion is posted as an event.
  *
  * @param entry - name of this process, sent to endpoint daemons with each call
+ * @param now - clock of the permits' deadlines
  * @param post - receives the completions
  * @returns the adapter
  */
 export const createEndpointClient = (
   entry: string,
+  now: () => Millis,
   post: (completion: EndpointCompletion) => void,
 ): EndpointClient => {
   const connections = new Map<string, Connection>();
@@ -156,7 +159,7 @@
         resumeFrom: open.fromNumber,
         mode: open.mode,
         importance: open.importance,
-        deadlineMs: open.deadlineMs,
+        deadlineMs: Math.max(0, open.permit.deadlineAt - now()),
         fingerprint: open.fingerprint,
         promptTokens: open.promptTokens,
         body: open.body,
@@ -188,7 +191,8 @@
   };
 
   const toCallCompletion = (call: OpenCall, response: CallResponse): EndpointCompletion => {
-    const { requestId, attempt } = call;
+    const { requestId } = call;
+    const { attempt } = call.permit;
     const { result } = response;
     switch (result.case) {
       case 'answer':
@@ -227,7 +231,8 @@
   };
 
   const sendCall = async (call: OpenCall): Promise<void> => {
-    const { requestId, attempt } = call;
+    const { requestId } = call;
+    const { attempt, deadlineAt } = call.permit;
     const tooLarge = checkBodySize(call.body, 'body', 'not-run');
     if (tooLarge !== null) {
       post({ kind: 'call-failed', requestId, attempt, failure: tooLarge });
@@ -240,6 +245,13 @@
       return;
     }
     const client = connected.value;
+    // Taken here and not when the attempt was decided, since the process may have stood still.
+    const deadlineMs = deadlineAt - now();
+    if (deadlineMs <= 0) {
+      const failure = createFailure('not-run', 'deadline-exceeded', 'the deadline has passed');
+      post({ kind: 'call-failed', requestId, attempt, failure });
+      return;
+    }
     try {
       const message = create(CallRequestSchema, {
         format: MESSAGE_FORMAT,
@@ -255,11 +267,11 @@
         incarnation: call.incarnation,
         nonce: call.nonce ?? '',
         idempotencyKey: call.key ?? '',
-        deadlineMs: call.deadlineMs,
+        deadlineMs,
         fingerprint: call.fingerprint,
         entry,
       });
-      const timeoutMs = Math.max(1, Math.ceil(call.deadlineMs));
+      const timeoutMs = Math.ceil(deadlineMs);
       post(toCallCompletion(call, await client.call(message, { timeoutMs })));
     } catch (error) {
       releaseConnection(call.url, client, error);
--- a/packages/entry/requests/endpointMessages.ts
+++ b/packages/entry/requests/endpointMessages.ts
@@ -1,6 +1,6 @@
-import type { Millis } from '../../core/clock.js';
 import type { GenerationId, Incarnation, RequestId } from '../../core/ids.js';
 import type { Failure } from '../../core/verdict.js';
+import type { SendPermit } from '../../decisions/retries/types.js';
 import type { HeaderField, ServiceAnswer } from '../types.js';
 
 /** Identifies a link: one call that streams a generation from an endpoint daemon. */
@@ -21,7 +21,7 @@
   readonly className: string;
   readonly route: string;
   readonly importance: string;
-  readonly deadlineMs: Millis;
+  readonly permit: SendPermit;
   readonly fingerprint: string;
   readonly promptTokens: number;
   readonly nonce: string | null;
@@ -32,7 +32,7 @@
 export interface OpenCall {
   readonly url: string;
   readonly requestId: RequestId;
-  readonly attempt: number;
+  readonly permit: SendPermit;
   readonly customer: string;
   readonly className: string;
   readonly importance: string;
@@ -44,7 +44,6 @@
   readonly incarnation: Incarnation;
   readonly nonce: string | null;
   readonly key: string | null;
-  readonly deadlineMs: Millis;
   readonly fingerprint: string;
 }
 
--- a/packages/entry/requests/fenceResults.ts
+++ b/packages/entry/requests/fenceResults.ts
@@ -2,6 +2,8 @@
 import type { FenceAnswer } from './endpointMessages.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { FenceResult, StoredAnswer } from '../../decisions/idempotency/types.js';
+import type { KeyedState } from './types.js';
+import type { EntryEffect } from '../events.js';
 import type { ServiceAnswer } from '../types.js';
 
 /**
@@ -42,3 +44,21 @@
       return assertNever(answer);
   }
 };
+
+/**
+ * Builds the log line of a fence request without a reply.
+ *
+ * @param state - keyed request
+ * @param nonce - nonce of the fence request
+ * @param reason - why no reply arrived
+ * @returns the log effect
+ */
+export const logUnansweredFence = (
+  { request }: KeyedState,
+  nonce: string,
+  reason: string,
+): EntryEffect => ({
+  kind: 'log',
+  name: 'fence-unanswered',
+  details: { requestId: request.requestId, data: { nonce, reason } },
+});
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -12,6 +12,7 @@
 import { buildResumeEffects, buildStartEffect } from './linkEffects.js';
 import { measureChunks, reportAnswered, toDeliveryEvent } from './links.js';
 import type { LinkCompletion } from './links.js';
+import { failUnsent, issueSendPermit } from './permits.js';
 import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import { decideNextAttempt, recordRequestSuccess } from './retrying.js';
@@ -22,6 +23,7 @@
 import type { Step } from '../../core/step.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
+import type { SendPermit } from '../../decisions/retries/types.js';
 import { decideDelivery, initDelivery, resumeDelivery } from '../../decisions/streams/delivery.js';
 import type {
   DeliveryEffect,
@@ -38,16 +40,14 @@
  *
  * @param request - request of the caller
  * @param policy - policy of its class
- * @param inputs - clock
  * @returns the state before the first placement
  */
 export const createGeneration = (
   request: GenerationRequest,
   policy: ClassPolicy,
-  inputs: RequestsInputs,
 ): GenerationState => ({
   kind: 'generation',
-  ...createRequestBase(policy, inputs),
+  ...createRequestBase(policy, request),
   request,
   delivery: initDelivery(
     policy.delivery === 'whole' || request.form.kind === 'whole' ? 'whole' : 'incremental',
@@ -63,7 +63,7 @@
  * @param placement - chosen endpoint
  * @param generationId - new id
  * @param nonce - nonce of a generation that runs at most once, else null
- * @param inputs - clock
+ * @param permit - permission to send the attempt
  * @returns the step that opens the link
  */
 export const startGenerationAt = (
@@ -71,7 +71,7 @@
   placement: RequestPlacement,
   generationId: GenerationId,
   nonce: string | null,
-  inputs: RequestsInputs,
+  permit: SendPermit,
 ): Step<GenerationState, EntryEffect> => {
   const { endpoint, incarnation } = placement;
   const source: GenerationSource = { generationId, endpoint, incarnation };
@@ -95,7 +95,7 @@
         data: { generationId, attempt: next.attempts, ...(nonce === null ? {} : { nonce }) },
       },
     },
-    buildStartEffect(next, placement, generationId, nonce, inputs),
+    buildStartEffect(next, placement, generationId, nonce, permit),
   );
 };
 
@@ -116,7 +116,10 @@
     case 'fail':
       return failRequest(state, result.failure, inputs);
     case 'placed': {
-      const step = startGenerationAt(state, result.placement, inputs.createId(), null, inputs);
+      const permit = issueSendPermit(state, state.purpose, inputs);
+      if (permit.isErr()) return failUnsent(state, permit.error, inputs);
+      const id = inputs.createId();
+      const step = startGenerationAt(state, result.placement, id, null, permit.value);
       return toStep<GenerationState, EntryEffect>(step.state, ...result.effects, ...step.effects);
     }
     default:
@@ -144,7 +147,7 @@
   const resumed = resumeDelivery(source, lastNumber + 1);
   const state: GenerationState = {
     kind: 'generation',
-    ...createRequestBase(policy, inputs),
+    ...createRequestBase(policy, request),
     request,
     attempts: 1,
     placement: {
--- a/packages/entry/requests/inputs.ts
+++ b/packages/entry/requests/inputs.ts
@@ -7,7 +7,7 @@
 import type { ChainState, KeyCounts, TableStanding } from '../../decisions/idempotency/types.js';
 import type { PlacementTable } from '../../decisions/placement/placementTable.js';
 import type { EndpointView, PlacementPolicy } from '../../decisions/placement/types.js';
-import type { BudgetTable } from '../../decisions/retries/budgetTable.js';
+import type { SendOwner } from '../../decisions/retries/sendOwner.js';
 import type { SurvivalTable } from '../../decisions/survival/survivalTable.js';
 
 /** Dependencies of the `requests` child on the rest of the daemon. */
@@ -37,7 +37,8 @@
   readonly getCustomerWeight: (customer: CustomerId) => number;
   /** Version that a move selects for a request; null when any version may serve it. */
   readonly chooseVersion: (model: ModelName, requestId: RequestId) => VersionChoice | null;
-  readonly budgets: BudgetTable;
+  /** Outlives a restart of the child, so that no budget is granted anew. */
+  readonly sends: SendOwner;
   readonly suspicions: Suspicions;
   readonly findChain: (customer: CustomerId, key: string) => ChainState | undefined;
   readonly getIntentLog: () => {
--- a/packages/entry/requests/keyedRequest.ts
+++ b/packages/entry/requests/keyedRequest.ts
@@ -1,6 +1,6 @@
 import { buildCallEffects, sendAnswer } from './call.js';
 import type { CallCompletion } from './call.js';
-import { toStoredAnswer } from './fenceResults.js';
+import { logUnansweredFence, toStoredAnswer } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
 import {
   applyKeyedDelivery,
@@ -19,12 +19,14 @@
   reportCrash,
 } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
+import { getDispatchPurpose, issueSendPermit } from './permits.js';
 import { selectPlacement } from './placement.js';
 import { createRequestBase } from './requestBase.js';
 import type { ClassPolicy, KeyedState } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { toStep } from '../../core/step.js';
 import { createFailure } from '../../core/verdict.js';
+import type { Failure } from '../../core/verdict.js';
 import { DEFAULT_INTENT_LIMITS } from '../../decisions/idempotency/constants.js';
 import { createIntentState, decideIntent } from '../../decisions/idempotency/intent.js';
 import type {
@@ -53,7 +55,7 @@
   // Without a key, a retry by the caller cannot be recognised as a duplicate. A generated key still
   // ensures that the attempts of this request run at most once.
   const key = request.key ?? inputs.createId();
-  const base = createRequestBase(policy, inputs);
+  const base = createRequestBase(policy, request);
   return {
     ...base,
     kind: 'keyed',
@@ -119,6 +121,17 @@
   }
 };
 
+/** Ends a dispatch that was not sent, so that its nonce is fenced before another one is chosen. */
+const refuseDispatch = (
+  state: KeyedState,
+  nonce: string,
+  failure: Failure,
+  inputs: RequestsInputs,
+): RequestStep => {
+  const result = { kind: 'refused', failure } as const;
+  return applyIntent(state, { kind: 'dispatch-ended', nonce, result }, inputs);
+};
+
 const dispatch = (
   state: KeyedState,
   effect: Extract<IntentEffect, { readonly kind: 'dispatch' }>,
@@ -131,9 +144,10 @@
       'no-endpoint',
       'the address of the endpoint is no longer known',
     );
-    const result = { kind: 'refused', failure } as const;
-    return applyIntent(state, { kind: 'dispatch-ended', nonce: effect.nonce, result }, inputs);
+    return refuseDispatch(state, effect.nonce, failure, inputs);
   }
+  const permit = issueSendPermit(state, getDispatchPurpose(state), inputs);
+  if (permit.isErr()) return refuseDispatch(state, effect.nonce, permit.error, inputs);
   const placement = {
     ...state.placement,
     url,
@@ -149,11 +163,11 @@
   const { request } = state;
   switch (request.kind) {
     case 'service': {
-      const calls = buildCallEffects(next, request, placement, effect.nonce, inputs);
+      const calls = buildCallEffects(next, request, placement, effect.nonce, permit.value);
       return toStep<KeyedState, EntryEffect>(next, logged, ...calls);
     }
     case 'generation': {
-      const step = startKeyedStream(next, request, placement, effect.nonce, inputs);
+      const step = startKeyedStream(next, request, placement, effect.nonce, permit.value);
       return toStep<KeyedState, EntryEffect>(step.state, logged, ...step.effects);
     }
     default:
@@ -161,24 +175,6 @@
   }
 };
 
-/**
- * Builds the log line of a fence request without a reply.
- *
- * @param state - keyed request
- * @param nonce - nonce of the fence request
- * @param reason - why no reply arrived
- * @returns the log effect
- */
-export const logUnansweredFence = (
-  { request }: KeyedState,
-  nonce: string,
-  reason: string,
-): EntryEffect => ({
-  kind: 'log',
-  name: 'fence-unanswered',
-  details: { requestId: request.requestId, data: { nonce, reason } },
-});
-
 const fence = (
   state: KeyedState,
   effect: Extract<IntentEffect, { readonly kind: 'fence' }>,
--- a/packages/entry/requests/keyedStream.test.ts
+++ b/packages/entry/requests/keyedStream.test.ts
@@ -7,6 +7,8 @@
 import type { LinkCompletion } from './links.js';
 import type { KeyedState, RequestPlacement } from './types.js';
 import { createFailure } from '../../core/verdict.js';
+import { issueFirstPermit } from '../../decisions/retries/permit.fixture.js';
+import { createSendOwner } from '../../decisions/retries/sendOwner.js';
 import type { DeliveryEvent } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
 import type { GenerationRequest } from '../types.js';
@@ -54,7 +56,7 @@
     createId: () => 'id',
     placements: { releasePlacement: handleNothing, updateProgress: handleNothing },
     suspicions: { apply: handleNothing },
-    budgets: { get: () => ({ retries: 1, updatedAt: 0 }), update: handleNothing },
+    sends: createSendOwner(0),
     survival: { observeFinished: handleNothing },
   }) as unknown as RequestsInputs;
 
@@ -156,7 +158,7 @@
     const inputs = buildInputs(clock);
     const policy = { ...DEFAULT_CLASS, repeat: 'never' } as const;
     const keyed = createKeyed(REQUEST, policy, inputs);
-    const started = startKeyedStream(keyed, REQUEST, PLACEMENT, NONCE, inputs);
+    const started = startKeyedStream(keyed, REQUEST, PLACEMENT, NONCE, issueFirstPermit(60_000));
     let { state } = started;
     const effects = [...started.effects];
     let ends = 0;
--- a/packages/entry/requests/keyedStream.ts
+++ b/packages/entry/requests/keyedStream.ts
@@ -25,6 +25,7 @@
   NoncePlacement,
   StoredAnswer,
 } from '../../decisions/idempotency/types.js';
+import type { SendPermit } from '../../decisions/retries/types.js';
 import { decideDelivery } from '../../decisions/streams/delivery.js';
 import type { DeliveryEffect, DeliveryEvent } from '../../decisions/streams/types.js';
 import { decodeStoredGeneration } from '../../wire/storedGeneration.js';
@@ -46,7 +47,7 @@
  * @param request - its generation
  * @param placement - endpoint of the intent
  * @param nonce - nonce that was read back from the log as active
- * @param inputs - clock
+ * @param permit - permission to send the attempt
  * @returns the step that opens the link
  */
 export const startKeyedStream = (
@@ -54,13 +55,13 @@
   request: GenerationRequest,
   placement: RequestPlacement,
   nonce: string,
-  inputs: RequestsInputs,
+  permit: SendPermit,
 ): Step<KeyedState, EntryEffect> => {
   const { policy, deadlineAt, attempts } = state;
-  const fresh = createGeneration(request, policy, inputs);
+  const fresh = createGeneration(request, policy);
   // `startGenerationAt` counts the attempt, which the dispatch has already counted.
   const generation = { ...fresh, deadlineAt, attempts: attempts - 1 };
-  const step = startGenerationAt(generation, placement, nonce, nonce, inputs);
+  const step = startGenerationAt(generation, placement, nonce, nonce, permit);
   return toStep({ ...state, stream: step.state }, ...step.effects);
 };
 
--- a/packages/entry/requests/linkEffects.ts
+++ b/packages/entry/requests/linkEffects.ts
@@ -1,6 +1,7 @@
 import type { RequestsInputs } from './inputs.js';
 import type { GenerationState, RequestPlacement } from './types.js';
 import type { GenerationId } from '../../core/ids.js';
+import type { SendPermit } from '../../decisions/retries/types.js';
 import type { DeliveryEffect } from '../../decisions/streams/types.js';
 import type { EntryEffect } from '../events.js';
 
@@ -11,7 +12,7 @@
  * @param placement - chosen endpoint
  * @param generationId - new id
  * @param nonce - nonce of a generation that runs at most once, else null
- * @param inputs - clock
+ * @param permit - permission to send the attempt
  * @returns the effect that opens the first link
  */
 export const buildStartEffect = (
@@ -19,7 +20,7 @@
   placement: RequestPlacement,
   generationId: GenerationId,
   nonce: string | null,
-  inputs: RequestsInputs,
+  permit: SendPermit,
 ): EntryEffect => {
   const { request, policy } = state;
   if (request.kind === 'resume') throw new Error('a resumed stream cannot start a generation');
@@ -37,7 +38,7 @@
       className: policy.className,
       route: 'chat',
       importance: policy.importance,
-      deadlineMs: state.deadlineAt - inputs.now(),
+      permit,
       fingerprint: request.fingerprint,
       promptTokens: request.promptTokens,
       nonce,
@@ -51,7 +52,7 @@
  *
  * @param state - generation
  * @param effect - resume that the stream requested
- * @param inputs - clock
+ * @param inputs - owner of the sends
  * @returns effects that close the previous link, log the resume and open the new link
  */
 export const buildResumeEffects = (
@@ -76,7 +77,7 @@
       className: policy.className,
       route: 'chat',
       importance: policy.importance,
-      deadlineMs: state.deadlineAt - inputs.now(),
+      permit: inputs.sends.issueResumePermit(state.attempts, state.deadlineAt),
       fingerprint: request.fingerprint,
       promptTokens: 0,
       nonce: null,
--- a/packages/entry/requests/outcomes.test.ts
+++ b/packages/entry/requests/outcomes.test.ts
@@ -2,16 +2,18 @@
 import { DEFAULT_SERVICE_CLASS } from './classes.js';
 import type { RequestsInputs } from './inputs.js';
 import { failRequest } from './outcomes.js';
+import { getDispatchPurpose } from './permits.js';
 import { decideNextAttempt } from './retrying.js';
-import type { CallState } from './types.js';
+import type { CallState, KeyedState } from './types.js';
 import { createFailure } from '../../core/verdict.js';
-import { createBudgetTable } from '../../decisions/retries/budgetTable.js';
+import type { Failure } from '../../core/verdict.js';
+import { createSendOwner } from '../../decisions/retries/sendOwner.js';
 
 const INPUTS = {
   now: () => 0,
   random: { next: () => 0 },
   // Created long enough ago that the budget of the customer has refilled to the floor.
-  budgets: createBudgetTable(-60_000),
+  sends: createSendOwner(-60_000),
   placements: { releasePlacement: () => undefined },
   suspicions: { apply: () => [] },
 } as unknown as RequestsInputs;
@@ -26,6 +28,7 @@
   refusals: 0,
   placement: null,
   waiting: 'no',
+  purpose: { kind: 'first' },
   lastFailureReason: '',
   verdict: 'not-run',
 } as unknown as CallState;
@@ -43,3 +46,19 @@
   const first = failRequest(CALL, shed, INPUTS).effects[0];
   t.like(first, { kind: 'fail-request', failure: { code: 'shed', verdict: 'not-run' } });
 });
+
+const buildKeyed = (attempts: number, lastFailure: Failure | null): KeyedState =>
+  ({ attempts, intent: { lastFailure } }) as unknown as KeyedState;
+
+// Guards against further nonces of a keyed request that are charged nowhere: the message of the one
+// before may have reached an engine even when the nonce never starts.
+test('a further nonce is charged unless an endpoint daemon refused the one before', (t) => {
+  const lost = createFailure('may-have-run', 'endpoint-failed', 'the answer was lost');
+  const refused = createFailure('not-run', 'overloaded', 'no free slot');
+  t.deepEqual(getDispatchPurpose(buildKeyed(0, null)), { kind: 'first' });
+  t.deepEqual(getDispatchPurpose(buildKeyed(1, lost)), { kind: 'after-failure', failure: lost });
+  t.deepEqual(getDispatchPurpose(buildKeyed(1, refused)), {
+    kind: 'after-refusal',
+    failure: refused,
+  });
+});
--- a/packages/entry/requests/requests.ts
+++ b/packages/entry/requests/requests.ts
@@ -9,7 +9,7 @@
   placeGeneration,
   startResume,
 } from './generation.js';
-import { toFenceResult } from './fenceResults.js';
+import { logUnansweredFence, toFenceResult } from './fenceResults.js';
 import type { RequestsInputs } from './inputs.js';
 import {
   applyIntent,
@@ -17,7 +17,6 @@
   applyKeyedLinkCompletion,
   applyKeyedStreamEvent,
   createKeyed,
-  logUnansweredFence,
 } from './keyedRequest.js';
 import { releaseAttempt } from './outcomes.js';
 import type { RequestStep } from './outcomes.js';
@@ -87,13 +86,13 @@
       // may have run is never retried here either, so an intent would add no protection.
       return policy.repeat === 'never' && request.key !== null
         ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
-        : placeGeneration(createGeneration(request, policy, inputs), inputs);
+        : placeGeneration(createGeneration(request, policy), inputs);
     case 'resume':
       return startResume(request, policy, inputs);
     case 'service':
       return request.repeat === 'never' || policy.repeat === 'never'
         ? applyIntent(createKeyed(request, policy, inputs), { kind: 'start' }, inputs)
-        : placeCall(createCall(request, policy, inputs), inputs);
+        : placeCall(createCall(request, policy), inputs);
     default:
       return assertNever(request);
   }
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -5,7 +5,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { Failure } from '../../core/verdict.js';
 import { computeClassLimit } from '../../decisions/placement/classBounds.js';
-import { decideRetry, recordSuccess } from '../../decisions/retries/retry.js';
+import type { SendPurpose } from '../../decisions/retries/types.js';
 import { mergeVerdicts } from '../../decisions/streams/verdicts.js';
 import type { EntryEffect } from '../events.js';
 
@@ -15,7 +15,7 @@
       readonly kind: 'retry';
       readonly changes: Pick<
         RequestState,
-        'excluded' | 'refusals' | 'waiting' | 'lastFailureReason' | 'verdict'
+        'excluded' | 'refusals' | 'waiting' | 'purpose' | 'lastFailureReason' | 'verdict'
       >;
       readonly effects: readonly EntryEffect[];
     }
@@ -23,10 +23,11 @@
 
 const buildRetry = (
   state: RequestState,
-  failure: Failure,
+  purpose: Exclude<SendPurpose, { readonly kind: 'first' }>,
   refusals: number,
   delayMs: Millis,
 ): NextAttempt => {
+  const { failure } = purpose;
   const { requestId } = state.request;
   const excluded =
     state.placement === null
@@ -38,6 +39,7 @@
       excluded,
       refusals,
       waiting: 'for-retry',
+      purpose,
       lastFailureReason: failure.message,
       verdict: mergeVerdicts(state.verdict, failure.verdict),
     },
@@ -71,7 +73,7 @@
  *
  * @param state - request
  * @param failure - how the attempt ended
- * @param inputs - clock and retry budgets
+ * @param inputs - clock and owner of the sends
  * @returns a retry, or the failure for the caller
  */
 export const decideNextAttempt = (
@@ -83,12 +85,13 @@
   if (isEndpointRefusal(failure) && now < state.deadlineAt) {
     recordRefusal(state, failure, inputs);
     const refusals = state.refusals + 1;
-    return buildRetry(state, failure, refusals, refusals > 1 ? REFUSAL_BACKOFF_MS : 0);
+    const delayMs = refusals > 1 ? REFUSAL_BACKOFF_MS : 0;
+    return buildRetry(state, { kind: 'after-refusal', failure }, refusals, delayMs);
   }
   const { customer } = state.request;
   const { className, repeat } = state.policy;
-  const outcome = decideRetry(
-    inputs.budgets.get(customer, className, now),
+  const decision = inputs.sends.decideRetry(
+    { customer, className },
     {
       attempts: state.attempts,
       repeat: repeat === 'allowed' ? 'idempotent' : 'never',
@@ -100,9 +103,8 @@
     now,
     inputs.random,
   );
-  inputs.budgets.update(customer, className, outcome.budget);
-  return outcome.decision.kind === 'retry'
-    ? buildRetry(state, failure, state.refusals, outcome.decision.delayMs)
+  return decision.kind === 'retry'
+    ? buildRetry(state, { kind: 'after-failure', failure }, state.refusals, decision.delayMs)
     : { kind: 'give-up', failure };
 };
 
@@ -110,12 +112,10 @@
  * Records a success in the retry budget of the request's customer and class.
  *
  * @param state - request that succeeded
- * @param inputs - clock and retry budgets
+ * @param inputs - clock and owner of the sends
  */
 export const recordRequestSuccess = (state: RequestState, inputs: RequestsInputs): void => {
-  const now = inputs.now();
   const { customer } = state.request;
   const { className } = state.policy;
-  const budget = inputs.budgets.get(customer, className, now);
-  inputs.budgets.update(customer, className, recordSuccess(budget, now));
+  inputs.sends.recordSuccess({ customer, className }, inputs.now());
 };
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -10,6 +10,7 @@
 import type { Verdict } from '../../core/verdict.js';
 import type { PublishedClass } from '../../decisions/configuration/types.js';
 import type { IntentState } from '../../decisions/idempotency/types.js';
+import type { SendPurpose } from '../../decisions/retries/types.js';
 import type { DeliveryState } from '../../decisions/streams/types.js';
 import type { WaitingQueue } from './waitingQueue.js';
 import type { GenerationRequest, ResumeRequest, ServiceRequest } from '../types.js';
@@ -41,6 +42,8 @@
   readonly refusals: number;
   readonly placement: RequestPlacement | null;
   readonly waiting: 'in-queue' | 'for-retry' | 'held' | 'no';
+  /** Why the next attempt is sent, which decides whether it is charged to the retry budget. */
+  readonly purpose: SendPurpose;
   /** Why the last attempt or placement failed; reported to the caller when the deadline passes. */
   readonly lastFailureReason: string;
   /**
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -52,7 +52,7 @@
 import { countKeys, findChain } from '../decisions/idempotency/table.js';
 import { getNewVersionShare } from '../decisions/moves/move.js';
 import { createPlacementTable } from '../decisions/placement/placementTable.js';
-import { createBudgetTable } from '../decisions/retries/budgetTable.js';
+import { createSendOwner } from '../decisions/retries/sendOwner.js';
 import { createSurvivalTable } from '../decisions/survival/survivalTable.js';
 import { createListClient } from '../platform/client/listClient.js';
 import { createLogClient } from '../platform/client/logClient.js';
@@ -116,7 +116,7 @@
 };
 
 const buildEndpointClient = (cradle: EntryCradle): EndpointClient =>
-  createEndpointClient(cradle.settings.process, (completion) => {
+  createEndpointClient(cradle.settings.process, cradle.clock.now, (completion) => {
     cradle.daemon.loop.post({ to: 'requests', kind: 'endpoint-completed', completion });
   });
 
@@ -141,7 +141,7 @@
     chooseVersion: (model, requestId) =>
       chooseMoveVersion(states.moves, model, requestId, hashToUint32),
     getQuarantined: () => states.control.view.quarantined,
-    budgets: createBudgetTable(clock.now()),
+    sends: createSendOwner(clock.now()),
     suspicions: createSuspicions(),
     findChain: (customer, key) => findChain(states.intents.table, customer, key),
     getIntentLog: () => {
