Count the deadline of work at the endpoint daemon from its receipt

A call that waited in the endpoint daemon (in its event queue, or in a process that stood still for less than the lease notices) got its whole time again and ran when its entry daemon had given it up, beside the retry.

Cause: the message carries the time that is left, and it was applied when the call was sent to the service.

Why the fix works: the rpc server adds the time that is left to the clock at the receipt; the gate refuses late work as not-run, and the client of the service checks again at the send and takes the rest as its timeout. A resume reads the buffer and has no deadline. A call that is not sent for its deadline ends as cancelled, not as a failure in the evidence on its version.

Tests that built calls by hand got deadlineAt in place of deadlineMs.

--- a/packages/capacity/measures/endpoints.ts
+++ b/packages/capacity/measures/endpoints.ts
@@ -83,7 +83,7 @@
   incarnation: 'incarnation-1',
   resumeFrom: 0,
   importance: 'standard',
-  deadlineMs: 60_000,
+  deadlineAt: NOW + 60_000,
   promptTokens: 600,
   entry: 'entry-001',
   stream: createId(),
--- a/packages/cluster/badMessages.test.ts
+++ b/packages/cluster/badMessages.test.ts
@@ -48,7 +48,7 @@
 /** Starts the RPC server of an endpoint daemon; `received` holds the events for its loop. */
 const startEndpointSide = async (t: ExecutionContext) => {
   const received = createInbox<EndpointEvent>();
-  const server = createRpcServer(INCARNATION, (event) => {
+  const server = createRpcServer(INCARNATION, Date.now, (event) => {
     received.push(event);
     return 'queued';
   });
--- a/packages/endpoint/calls/calls.ts
+++ b/packages/endpoint/calls/calls.ts
@@ -120,6 +120,12 @@
   return [{ kind: 'reply-answer', callId, answer }, buildWorkEnded(running, result, now)];
 };
 
+/** A call that was not sent for its deadline says nothing about the service. */
+const toWorkResult = ({ code, verdict }: Failure): WorkResult => {
+  if (code === 'deadline-exceeded' && verdict === 'not-run') return 'cancelled';
+  return code === 'endpoint-lost' ? 'lost' : 'failure';
+};
+
 const failCall = (
   state: CallsState,
   callId: string,
@@ -135,7 +141,7 @@
   }
   return [
     { kind: 'reply-failure', callId, failure },
-    buildWorkEnded(running, failure.code === 'endpoint-lost' ? 'lost' : 'failure', inputs.now()),
+    buildWorkEnded(running, toWorkResult(failure), inputs.now()),
   ];
 };
 
--- a/packages/endpoint/engine/engineClient.test.ts
+++ b/packages/endpoint/engine/engineClient.test.ts
@@ -5,7 +5,7 @@
 import type { ExecutionContext } from 'ava';
 import { createEngineClient } from './engineClient.js';
 import type { EngineClient } from './engineClient.js';
-import { createSystemClock } from '../../core/clock.js';
+import { createSystemClock, createVirtualClock } from '../../core/clock.js';
 import type { EndpointEvent, GenerateCall, ServiceCall } from '../types.js';
 
 /** Size at which the server stops, so that a client without a bound fails the test by its size. */
@@ -69,7 +69,7 @@
   path: '/a',
   headers: [],
   body: new Uint8Array(),
-  deadlineMs: 30_000,
+  deadlineAt: Date.now() + 30_000,
 } as unknown as ServiceCall;
 
 // Guards against an endpoint whose answer never ends and fills the memory of its daemon.
@@ -90,6 +90,37 @@
   }
 });
 
+// Guards against a call that waited in a paused process and is then sent to the service past its
+// deadline, when nobody waits for the answer any more.
+test('a call whose deadline has passed is not sent to the service', async (t) => {
+  let requests = 0;
+  const server = createServer((_request, response) => {
+    requests += 1;
+    response.end();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port.toString()}`;
+  const clock = createVirtualClock();
+  const send = (): Promise<EndpointEvent> =>
+    new Promise((resolve) => {
+      const client = createEngineClient(url, clock, resolve);
+      t.teardown(client.close);
+      client.callService({ ...SERVICE_CALL, deadlineAt: 30_000 });
+    });
+  clock.advance(29_000);
+  t.is((await send()).kind, 'service-answered');
+  clock.advance(1_000);
+  const late = await send();
+  t.like(late, {
+    kind: 'service-failed',
+    failure: { verdict: 'not-run', code: 'deadline-exceeded' },
+  });
+  t.is(requests, 1);
+});
+
 // Guards against a daemon that ends because its engine refuses connections.
 test('an engine that refuses connections is reported as unreachable', async (t) => {
   const server = createServer();
--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -141,7 +141,7 @@
  * Creates the adapter to the endpoint's HTTP interface. Each completion is posted as an event.
  *
  * @param baseUrl - address of the engine or service
- * @param clock - clock that timestamps the health requests
+ * @param clock - clock that timestamps the health requests, and of the deadlines
  * @param post - receives the events
  * @returns the adapter
  */
@@ -304,11 +304,19 @@
   };
 
   const runCall = async (call: ServiceCall): Promise<void> => {
+    // Taken here and not at the receipt, since the call may have waited or the process stood still.
+    const leftMs = call.deadlineAt - clock.now();
+    if (leftMs <= 0) {
+      const message = 'the deadline passed before the call was sent to the service';
+      const failure = createFailure('not-run', 'deadline-exceeded', message);
+      post({ to: 'calls', kind: 'service-failed', callId: call.callId, failure });
+      return;
+    }
     try {
       const response = await request(`${baseUrl}${call.path}`, {
         method: call.method as Dispatcher.HttpMethod,
         dispatcher: agent,
-        signal: AbortSignal.timeout(Math.max(1, Math.ceil(call.deadlineMs))),
+        signal: AbortSignal.timeout(Math.ceil(leftMs)),
         headers: Object.fromEntries(call.headers.map(({ name, value }) => [name, value])),
         body: call.body.length > 0 ? call.body : null,
       });
--- a/packages/endpoint/engine/oddAnswers.test.ts
+++ b/packages/endpoint/engine/oddAnswers.test.ts
@@ -43,7 +43,7 @@
       server.close();
     });
     const call = { callId: 'c', method: 'GET', path: '/a', headers: [], body: new Uint8Array() };
-    client.callService({ ...call, deadlineMs: 5_000 } as unknown as ServiceCall);
+    client.callService({ ...call, deadlineAt: Date.now() + 5_000 } as unknown as ServiceCall);
   });
   return event;
 };
--- a/packages/endpoint/engine/repeatedAnswers.test.ts
+++ b/packages/endpoint/engine/repeatedAnswers.test.ts
@@ -69,7 +69,7 @@
 const startCall = (service: FaultyService, path: string): Promise<EndpointEvent> => {
   const event = service.waitForEvent();
   const call = { callId: path, method: 'GET', path, headers: [], body: new Uint8Array() };
-  service.client.callService({ ...call, deadlineMs: 5_000 } as unknown as ServiceCall);
+  service.client.callService({ ...call, deadlineAt: Date.now() + 5_000 } as unknown as ServiceCall);
   return event;
 };
 
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -2,7 +2,6 @@
 import { checkMessageFormat } from './messageFormat.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
-import type { Incarnation } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
@@ -33,13 +32,18 @@
 
 const checkStart = (
   state: GateState,
-  incarnation: Incarnation,
+  { incarnation, deadlineAt }: GenerateCall | ServiceCall,
   inputs: GateInputs,
 ): Failure | null => {
   if (state.phase !== 'accepting') {
     return createFailure('not-run', 'draining', 'the endpoint is leaving');
   }
-  return checkNewWork(inputs.getLease(), incarnation, inputs.now());
+  const now = inputs.now();
+  if (now >= deadlineAt) {
+    const message = 'the deadline passed before the endpoint daemon took up the request';
+    return createFailure('not-run', 'deadline-exceeded', message);
+  }
+  return checkNewWork(inputs.getLease(), incarnation, now);
 };
 
 const checkGenerate = (
@@ -49,7 +53,7 @@
 ): Failure | null => {
   const format = checkMessageFormat(call.format);
   if (format !== null) return format;
-  if (call.mode === 'start') return checkStart(state, call.incarnation, inputs);
+  if (call.mode === 'start') return checkStart(state, call, inputs);
   if (call.incarnation === inputs.getLease().incarnation) return null;
   // A generation of an earlier incarnation ran, and its buffer is lost.
   return createFailure('may-have-run', 'stream-lost', 'the endpoint daemon restarted');
@@ -69,7 +73,7 @@
 };
 
 const handleCall = (state: GateState, call: ServiceCall, inputs: GateInputs): EndpointEffect => {
-  const failure = checkMessageFormat(call.format) ?? checkStart(state, call.incarnation, inputs);
+  const failure = checkMessageFormat(call.format) ?? checkStart(state, call, inputs);
   if (failure !== null) return { kind: 'reply-failure', callId: call.callId, failure };
   return { kind: 'post', event: { to: 'engine', kind: 'admit-call', call } };
 };
--- a/packages/endpoint/rpc/rpcServer.ts
+++ b/packages/endpoint/rpc/rpcServer.ts
@@ -4,6 +4,7 @@
 import { checkMessageFormat } from './messageFormat.js';
 import { createAsyncQueue } from '../../core/asyncQueue.js';
 import type { AsyncQueue } from '../../core/asyncQueue.js';
+import type { Millis } from '../../core/clock.js';
 import { createId } from '../../core/ids.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
@@ -42,7 +43,11 @@
 const parseImportance = (value: string): Importance =>
   IMPORTANCES.find((known) => known === value) ?? 'standard';
 
-const toGenerateCall = (callId: CallId, message: GenerateRequest): GenerateCall => ({
+const toGenerateCall = (
+  callId: CallId,
+  message: GenerateRequest,
+  receivedAt: Millis,
+): GenerateCall => ({
   callId,
   format: message.format,
   mode: message.mode === 'resume' ? 'resume' : 'start',
@@ -54,7 +59,7 @@
   incarnation: message.incarnation,
   resumeFrom: message.resumeFrom,
   importance: parseImportance(message.importance),
-  deadlineMs: message.deadlineMs,
+  deadlineAt: receivedAt + message.deadlineMs,
   promptTokens: message.promptTokens,
   entry: message.entry,
   stream: message.stream,
@@ -110,11 +115,13 @@
  * Creates the server of `EndpointService`.
  *
  * @param incarnation - incarnation of this process
+ * @param now - clock of the deadlines
  * @param post - queues an event; returns `shed` when the queue is full
  * @returns the server, not yet listening
  */
 export const createRpcServer = (
   incarnation: string,
+  now: () => Millis,
   post: (event: EndpointEvent) => 'queued' | 'shed',
 ): RpcServer => {
   const readers = new Map<CallId, AsyncQueue<GenerateEvent>>();
@@ -125,7 +132,7 @@
     const callId = createId();
     const queue = createAsyncQueue<GenerateEvent>();
     readers.set(callId, queue);
-    const call = toGenerateCall(callId, message);
+    const call = toGenerateCall(callId, message, now());
     if (post({ to: 'rpc', kind: 'generate-requested', call }) === 'shed') {
       sendFailure(callId, SHED_FAILURE);
     }
@@ -188,7 +195,7 @@
             path: message.path,
             headers: message.headers.map(({ name, value }) => ({ name, value })),
             body: message.body,
-            deadlineMs: message.deadlineMs,
+            deadlineAt: now() + message.deadlineMs,
             entry: message.entry,
           };
           if (post({ to: 'rpc', kind: 'call-requested', call }) === 'shed') {
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -29,7 +29,8 @@
   readonly incarnation: Incarnation;
   readonly resumeFrom: number;
   readonly importance: Importance;
-  readonly deadlineMs: Millis;
+  /** Deadline on the clock of this process, from the time that was left at the receipt. */
+  readonly deadlineAt: Millis;
   readonly promptTokens: number;
   readonly entry: string;
   /** Caller's stream at the entry daemon, and the number of its link to this generation. */
@@ -60,7 +61,8 @@
   readonly path: string;
   readonly headers: readonly HeaderField[];
   readonly body: Uint8Array;
-  readonly deadlineMs: Millis;
+  /** Deadline on the clock of this process, from the time that was left at the receipt. */
+  readonly deadlineAt: Millis;
   readonly entry: string;
 }
 
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -93,7 +93,7 @@
 };
 
 const buildRpcServer = (cradle: EndpointCradle): RpcServer =>
-  createRpcServer(cradle.incarnation, (event) => cradle.daemon.loop.post(event));
+  createRpcServer(cradle.incarnation, cradle.clock.now, (event) => cradle.daemon.loop.post(event));
 
 const buildEntryClient = (cradle: EndpointCradle): EntryClient => {
   const { settings, incarnation, urls } = cradle;
