Bound the retries of all customers of an entry daemon together

In an outage each failed request of the target size would have been sent three times, although retries "add at most 10% of load".

Cause: the budget has a floor for each customer and class, and nothing bounds their sum: 28,000 customers have 56,000 retries at one daemon.

Evidence: sendOwner.test.ts, "in a total outage", failed with the shared limits set out of reach: 43,200 retries of 21,600 requests in ten minutes at 36 requests a second. Why the fix works: the owner of the sends charges a budget of the daemon beside that of the customer, with the same share of all successes, a refill of one a second up to ten, and at most 256, the requests of one crashed endpoint. Like the others it starts empty.

Price: a crash that breaks more than 256 requests of one entry daemon leaves the rest without a retry.

--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -2,12 +2,12 @@
   BACKOFF_BASE_MS,
   BACKOFF_MAX_MS,
   BUDGET_FLOOR,
-  BUDGET_MAX,
-  FLOOR_REFILL_PER_MS,
+  CUSTOMER_LIMITS,
   MAX_ATTEMPTS,
   RETRIES_PER_SUCCESS,
 } from './constants.js';
 import type {
+  BudgetLimits,
   FailedAttempt,
   GiveUpReason,
   RetryBudget,
@@ -32,23 +32,46 @@
 });
 
 /** Refills a budget below the floor for the time since its last update. */
-const applyFloorRefill = (budget: RetryBudget, now: Millis): RetryBudget => {
+const applyFloorRefill = (
+  budget: RetryBudget,
+  now: Millis,
+  { floor, refillPerMs }: BudgetLimits,
+): RetryBudget => {
   const updatedAt = Math.max(budget.updatedAt, now);
-  const refill = (updatedAt - budget.updatedAt) * FLOOR_REFILL_PER_MS;
-  const retries = Math.max(budget.retries, Math.min(BUDGET_FLOOR, budget.retries + refill));
+  const refill = (updatedAt - budget.updatedAt) * refillPerMs;
+  const retries = Math.max(budget.retries, Math.min(floor, budget.retries + refill));
   return { retries, updatedAt };
 };
 
+/**
+ * Reports whether a budget holds a whole retry.
+ *
+ * @param budget - budget before the retry
+ * @param now - current instant
+ * @param limits - limits of the budget
+ * @returns true if a retry can be charged now
+ */
+export const hasRetry = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): boolean => applyFloorRefill(budget, now, limits).retries >= 1;
+
 /**
  * Adds the credit of one success to a budget.
  *
  * @param budget - budget before the success
  * @param now - current instant
+ * @param limits - limits of the budget
  * @returns the budget after it
  */
-export const recordSuccess = (budget: RetryBudget, now: Millis): RetryBudget => {
-  const { retries, updatedAt } = applyFloorRefill(budget, now);
-  return { retries: Math.min(BUDGET_MAX, retries + RETRIES_PER_SUCCESS), updatedAt };
+export const recordSuccess = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): RetryBudget => {
+  const { retries, updatedAt } = applyFloorRefill(budget, now, limits);
+  return { retries: Math.min(limits.max, retries + RETRIES_PER_SUCCESS), updatedAt };
 };
 
 /** Reports whether a retry, at another endpoint or later at the same one, may succeed. */
@@ -128,9 +151,9 @@
   if (now + delayMs + attempt.minAttemptMs > attempt.deadline) {
     return { kind: 'give-up', reason: 'deadline-too-near' };
   }
-  return applyFloorRefill(budget, now).retries < 1
-    ? { kind: 'give-up', reason: 'budget-spent' }
-    : { kind: 'retry', delayMs };
+  return hasRetry(budget, now)
+    ? { kind: 'retry', delayMs }
+    : { kind: 'give-up', reason: 'budget-spent' };
 };
 
 /**
@@ -138,10 +161,15 @@
  *
  * @param budget - budget of the request's customer and class
  * @param now - current instant
+ * @param limits - limits of the budget
  * @returns whether the budget held a whole retry, and the budget after it
  */
-export const takeRetry = (budget: RetryBudget, now: Millis): TakenRetry => {
-  const current = applyFloorRefill(budget, now);
+export const takeRetry = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): TakenRetry => {
+  const current = applyFloorRefill(budget, now, limits);
   return current.retries < 1
     ? { kind: 'spent', budget: current }
     : { kind: 'taken', budget: { ...current, retries: current.retries - 1 } };
--- a/packages/decisions/retries/sendOwner.test.ts
+++ b/packages/decisions/retries/sendOwner.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { BUDGET_MAX, FLOOR_REFILL_PER_MS, RETRIES_PER_SUCCESS } from './constants.js';
+import {
+  BUDGET_MAX,
+  FLOOR_REFILL_PER_MS,
+  MAX_ATTEMPTS,
+  RETRIES_PER_SUCCESS,
+  SHARED_LIMITS,
+} from './constants.js';
 import { createSendOwner } from './sendOwner.js';
 import type { SendOwner } from './sendOwner.js';
 import type { Millis } from '../../core/clock.js';
@@ -151,6 +157,42 @@
   t.regex(String(result.errorInstance), /sent/);
 });
 
+// Guards against a budget of each customer that bounds nothing together: in an outage of a daemon
+// with many customers, each of them had its floor, and all requests were sent four times.
+test('in a total outage the retries of many customers are a small share of the load', (t) => {
+  const customers = 28_000;
+  const requestsPerSecond = 36;
+  const random = createRandomSource(SEED);
+  const owner = createSendOwner(0);
+  const outageAt = 600_000;
+  const outageMs = 600_000;
+  let first = 0;
+  let retries = 0;
+  for (let index = 0; index < (requestsPerSecond * (outageAt + outageMs)) / 1_000; index += 1) {
+    const now = (index * 1_000) / requestsPerSecond;
+    const holder = { customer: `c-${(index % customers).toString()}`, className: 'lookup' };
+    if (now < outageAt) {
+      owner.recordSuccess(holder, now);
+      continue;
+    }
+    first += 1;
+    const deadlineAt = now + DEADLINE_MS;
+    for (let attempts = 1; attempts < MAX_ATTEMPTS; attempts += 1) {
+      const limits = { attempts, deadline: deadlineAt, minAttemptMs: MIN_ATTEMPT_MS } as const;
+      const failed = { ...limits, repeat: 'idempotent', delivered: 'nothing' } as const;
+      if (owner.decideRetry(holder, failed, LOST, now, random).kind === 'give-up') break;
+      const purpose = { kind: 'after-failure', failure: LOST } as const;
+      const request = { ...holder, purpose, attempt: attempts + 1, deadlineAt, minAttemptMs: 0 };
+      if (owner.issuePermit(request, now).isErr()) break;
+      retries += 1;
+    }
+  }
+  const refilled = outageMs * SHARED_LIMITS.refillPerMs;
+  t.true(retries <= SHARED_LIMITS.max + refilled, retries.toString());
+  t.true(retries < first * 0.1, `${retries.toString()} retries of ${first.toString()} requests`);
+  t.true(retries > refilled - 1, 'the refill is used');
+});
+
 const FIRST = {
   ...HOLDER,
   purpose: { kind: 'first' },
--- a/packages/decisions/retries/sendOwner.ts
+++ b/packages/decisions/retries/sendOwner.ts
@@ -1,8 +1,15 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { createBudgetTable } from './budgetTable.js';
-import { decideRetry, recordSuccess, takeRetry } from './retry.js';
-import type { FailedAttempt, RetryDecision, SendPermit, SendPurpose } from './types.js';
+import { SHARED_LIMITS } from './constants.js';
+import { decideRetry, hasRetry, recordSuccess, takeRetry } from './retry.js';
+import type {
+  FailedAttempt,
+  RetryBudget,
+  RetryDecision,
+  SendPermit,
+  SendPurpose,
+} from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { ClassName, CustomerId } from '../../core/ids.js';
@@ -73,6 +80,8 @@
  */
 export const createSendOwner = (startedAt: Millis, capacity?: number): SendOwner => {
   const budgets = createBudgetTable(startedAt, capacity);
+  // Bounds the sum over all customers; what the process spent before its start is not known.
+  let shared: RetryBudget = { retries: 0, updatedAt: startedAt };
 
   const chargeRetry = (
     request: SendRequest,
@@ -81,8 +90,11 @@
   ): Result<SendPermit, Failure> => {
     const { customer, className } = request;
     const taken = takeRetry(budgets.get(customer, className, now), now);
+    const takenOfShared = takeRetry(shared, now, SHARED_LIMITS);
+    if (taken.kind === 'spent' || takenOfShared.kind === 'spent') return Err(failure);
     budgets.update(customer, className, taken.budget);
-    return taken.kind === 'taken' ? admitSend(request) : Err(failure);
+    shared = takenOfShared.budget;
+    return admitSend(request);
   };
 
   const issuePermit: SendOwner['issuePermit'] = (request, now) => {
@@ -106,13 +118,19 @@
   };
 
   return {
-    decideRetry: ({ customer, className }, attempt, failure, now, random) =>
-      decideRetry(budgets.get(customer, className, now), attempt, failure, now, random),
+    decideRetry: ({ customer, className }, attempt, failure, now, random) => {
+      const budget = budgets.get(customer, className, now);
+      const decision = decideRetry(budget, attempt, failure, now, random);
+      return decision.kind === 'give-up' || hasRetry(shared, now, SHARED_LIMITS)
+        ? decision
+        : { kind: 'give-up', reason: 'budget-spent' };
+    },
     issuePermit,
     issueResumePermit: (attempt, deadlineAt) => buildPermit('resume', attempt, deadlineAt),
     recordSuccess: ({ customer, className }, now) => {
       const budget = budgets.get(customer, className, now);
       budgets.update(customer, className, recordSuccess(budget, now));
+      shared = recordSuccess(shared, now, SHARED_LIMITS);
     },
   };
 };
--- a/packages/decisions/retries/types.ts
+++ b/packages/decisions/retries/types.ts
@@ -8,6 +8,15 @@
   readonly updatedAt: Millis;
 }
 
+/** Limits of a budget. */
+export interface BudgetLimits {
+  /** Retries up to which the budget refills with time. */
+  readonly floor: number;
+  /** Retries per millisecond that it gains below the floor. */
+  readonly refillPerMs: number;
+  readonly max: number;
+}
+
 /** A failed attempt and the limits of its request. */
 export interface FailedAttempt {
   /** Attempts made so far, the failed one included. */
