Count only attempts that were not refused towards the four of a request

A request that endpoint daemons had refused four times, as while they drain, failed with its first lost attempt.

Cause: the limit of the attempts counted refused ones, which ran nowhere and are free elsewhere.

Evidence: furtherAttempts.test.ts failed before: no further attempt after five refusals, where three are allowed. Why the fix works: the refusals of the request are subtracted, so that the limit and the back-off count what may have run; the budget still charges each retry.

Measured: the tests of packages/entry and decisions/retries pass (89).

--- a/packages/entry/requests/furtherAttempts.test.ts
+++ b/packages/entry/requests/furtherAttempts.test.ts
@@ -3,7 +3,11 @@
 import { createRequestsHarness, listCalls } from './requestsHarness.fixture.js';
 import type { CallEffect, RequestsHarness } from './requestsHarness.fixture.js';
 import { createFailure } from '../../core/verdict.js';
-import { BUDGET_MAX, RETRIES_PER_SUCCESS } from '../../decisions/retries/constants.js';
+import {
+  BUDGET_MAX,
+  MAX_ATTEMPTS,
+  RETRIES_PER_SUCCESS,
+} from '../../decisions/retries/constants.js';
 import type { EntryEffect } from '../events.js';
 
 const LOST = createFailure('may-have-run', 'endpoint-failed', 'the answer was lost');
@@ -34,6 +38,34 @@
   t.is(second.call.permit.deadlineAt - harness.clock.now(), DEADLINE_MS - 1_500);
 });
 
+// Guards against refusals that use up the attempts of a request: nothing ran, so that a later loss
+// is still followed by another attempt, but by no more than three.
+test('refused attempts do not count as attempts that ran', (t) => {
+  const harness = createRequestsHarness();
+  const refused = createFailure('not-run', 'draining', 'the endpoint is leaving');
+  let call = takeCall(harness.receive('r'));
+  for (let refusal = 0; refusal < MAX_ATTEMPTS + 1; refusal += 1) {
+    harness.fail(call, refused);
+    call = takeCall([
+      ...sendRetry(harness, 'r'),
+      ...harness.handle({ to: 'requests', kind: 'tick' }),
+    ]);
+  }
+  // Enough credit for all retries.
+  for (let index = 0; index < 100; index += 1) {
+    harness.answer(takeCall(harness.receive(`s-${index.toString()}`)));
+  }
+  let lost = 0;
+  for (; lost < 2 * MAX_ATTEMPTS; lost += 1) {
+    if (listFailures(harness.fail(call, LOST)).length > 0) break;
+    call = takeCall([
+      ...sendRetry(harness, 'r'),
+      ...harness.handle({ to: 'requests', kind: 'tick' }),
+    ]);
+  }
+  t.is(lost, MAX_ATTEMPTS - 1);
+});
+
 // Guards against a paused process that sends its due retries past their deadlines, with 1 ms left.
 test('a retry that is due after a pause past the deadline is not sent', (t) => {
   const harness = createRequestsHarness();
--- a/packages/entry/requests/retrying.ts
+++ b/packages/entry/requests/retrying.ts
@@ -93,7 +93,8 @@
   const decision = inputs.sends.decideRetry(
     { customer, className },
     {
-      attempts: state.attempts,
+      // A refused attempt ran nowhere; the endpoint daemons may refuse a waiting request many times.
+      attempts: state.attempts - state.refusals,
       repeat: repeat === 'allowed' ? 'idempotent' : 'never',
       delivered: 'nothing',
       deadline: state.deadlineAt,
