Name the purpose of each attempt of the entry daemon in its log

Cause: attempt-started had the number of the attempt, but not whether it followed a refusal, which is free, or a failure, which is charged, so that the logs of a breach could not tell the two apart.

The purpose comes from the permit of the send.

--- a/packages/entry/requests/call.ts
+++ b/packages/entry/requests/call.ts
@@ -66,7 +66,7 @@
       details: {
         requestId: request.requestId,
         endpoint: placement.endpoint,
-        data: { attempt, ...(nonce === null ? {} : { nonce }) },
+        data: { attempt, purpose: permit.purpose, ...(nonce === null ? {} : { nonce }) },
       },
     },
     {
--- a/packages/entry/requests/furtherAttempts.test.ts
+++ b/packages/entry/requests/furtherAttempts.test.ts
@@ -33,7 +33,7 @@
   harness.fail(first, LOST);
   harness.clock.advance(500);
   const second = takeCall(sendRetry(harness, 'r'));
-  t.is(second.call.permit.attempt, 2);
+  t.like(second.call.permit, { attempt: 2, purpose: 'after-failure' });
   t.not(second.call.url, first.call.url);
   t.is(second.call.permit.deadlineAt - harness.clock.now(), DEADLINE_MS - 1_500);
 });
--- a/packages/entry/requests/generation.ts
+++ b/packages/entry/requests/generation.ts
@@ -92,7 +92,12 @@
         requestId: state.request.requestId,
         endpoint,
         sent: `${generationId}/0`,
-        data: { generationId, attempt: next.attempts, ...(nonce === null ? {} : { nonce }) },
+        data: {
+          generationId,
+          attempt: next.attempts,
+          purpose: permit.purpose,
+          ...(nonce === null ? {} : { nonce }),
+        },
       },
     },
     buildStartEffect(next, placement, generationId, nonce, permit),
