--- a/packages/decisions/retries/retry.ts
+++ b/packages/decisions/retries/retry.ts
@@ -2,19 +2,26 @@
   BACKOFF_BASE_MS,
   BACKOFF_MAX_MS,
   BUDGET_FLOOR,
-  BUDGET_MAX,
-  FLOOR_REFILL_PER_MS,
+  CUSTOMER_LIMITS,
   MAX_ATTEMPTS,
   RETRIES_PER_SUCCESS,
 } from './constants.js';
-import type { FailedAttempt, GiveUpReason, RetryBudget, RetryOutcome } from './types.js';
+import type {
+  BudgetLimits,
+  FailedAttempt,
+  GiveUpReason,
+  RetryBudget,
+  RetryDecision,
+  TakenRetry,
+} from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { RandomSource } from '../../core/random.js';
 import type { Failure, FailureCode } from '../../core/verdict.js';
 
 /**
- * Creates the budget of a customer and class without recent requests.
+ * Creates the budget of a customer and class that is known to have spent nothing. A daemon does not
+ * know this after its start; its budgets come from `createBudgetTable`.
  *
  * @param now - current instant
  * @returns a budget at the floor
@@ -25,23 +32,46 @@
 });
 
 /** Refills a budget below the floor for the time since its last update. */
-const applyFloorRefill = (budget: RetryBudget, now: Millis): RetryBudget => {
+const applyFloorRefill = (
+  budget: RetryBudget,
+  now: Millis,
+  { floor, refillPerMs }: BudgetLimits,
+): RetryBudget => {
   const updatedAt = Math.max(budget.updatedAt, now);
-  const refill = (updatedAt - budget.updatedAt) * FLOOR_REFILL_PER_MS;
-  const retries = Math.max(budget.retries, Math.min(BUDGET_FLOOR, budget.retries + refill));
+  const refill = (updatedAt - budget.updatedAt) * refillPerMs;
+  const retries = Math.max(budget.retries, Math.min(floor, budget.retries + refill));
   return { retries, updatedAt };
 };
 
+/**
+ * Reports whether a budget holds a whole retry.
+ *
+ * @param budget - budget before the retry
+ * @param now - current instant
+ * @param limits - limits of the budget
+ * @returns true if a retry can be charged now
+ */
+export const hasRetry = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): boolean => applyFloorRefill(budget, now, limits).retries >= 1;
+
 /**
  * Adds the credit of one success to a budget.
  *
  * @param budget - budget before the success
  * @param now - current instant
+ * @param limits - limits of the budget
  * @returns the budget after it
  */
-export const recordSuccess = (budget: RetryBudget, now: Millis): RetryBudget => {
-  const { retries, updatedAt } = applyFloorRefill(budget, now);
-  return { retries: Math.min(BUDGET_MAX, retries + RETRIES_PER_SUCCESS), updatedAt };
+export const recordSuccess = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): RetryBudget => {
+  const { retries, updatedAt } = applyFloorRefill(budget, now, limits);
+  return { retries: Math.min(limits.max, retries + RETRIES_PER_SUCCESS), updatedAt };
 };
 
 /** Reports whether a retry, at another endpoint or later at the same one, may succeed. */
@@ -98,14 +128,15 @@
 };
 
 /**
- * Decides whether a failed attempt is retried.
+ * Decides whether a failed attempt is retried. The retry is charged by `takeRetry` when it is sent,
+ * since it may wait for its delay, for an endpoint or for a paused process.
  *
  * @param budget - budget of the request's customer and class
  * @param attempt - the failed attempt and the limits of its request
  * @param failure - why it failed, with a verdict that covers all attempts so far
  * @param now - current instant
  * @param random - source of the jitter
- * @returns the decision and the budget after it
+ * @returns the decision
  */
 export const decideRetry = (
   budget: RetryBudget,
@@ -113,19 +144,33 @@
   failure: Failure,
   now: Millis,
   random: RandomSource,
-): RetryOutcome => {
-  const current = applyFloorRefill(budget, now);
-  const giveUp = (reason: GiveUpReason): RetryOutcome => ({
-    decision: { kind: 'give-up', reason },
-    budget: current,
-  });
+): RetryDecision => {
   const reason = findGiveUpReason(attempt, failure);
-  if (reason !== null) return giveUp(reason);
+  if (reason !== null) return { kind: 'give-up', reason };
   const delayMs = computeDelay(attempt.attempts, failure, random);
-  if (now + delayMs + attempt.minAttemptMs > attempt.deadline) return giveUp('deadline-too-near');
-  if (current.retries < 1) return giveUp('budget-spent');
-  return {
-    decision: { kind: 'retry', delayMs },
-    budget: { ...current, retries: current.retries - 1 },
-  };
+  if (now + delayMs + attempt.minAttemptMs > attempt.deadline) {
+    return { kind: 'give-up', reason: 'deadline-too-near' };
+  }
+  return hasRetry(budget, now)
+    ? { kind: 'retry', delayMs }
+    : { kind: 'give-up', reason: 'budget-spent' };
+};
+
+/**
+ * Charges one retry, at the instant at which it is sent.
+ *
+ * @param budget - budget of the request's customer and class
+ * @param now - current instant
+ * @param limits - limits of the budget
+ * @returns whether the budget held a whole retry, and the budget after it
+ */
+export const takeRetry = (
+  budget: RetryBudget,
+  now: Millis,
+  limits: BudgetLimits = CUSTOMER_LIMITS,
+): TakenRetry => {
+  const current = applyFloorRefill(budget, now, limits);
+  return current.retries < 1
+    ? { kind: 'spent', budget: current }
+    : { kind: 'taken', budget: { ...current, retries: current.retries - 1 } };
 };
