Hold the events of a leaving endpoint until the continuation of its stream has begun

The engine leaves and is silent for 1.6 s, the stream is continued from its backup, 24 to 107 ms later the events that the engine made during its silence arrive, and the engine resets the stream.

Cause: the endpoint whose event came first kept the stream. The continuation was cancelled, which used up the only copy (or the last permitted endpoint of a stream that may be resumed), in favour of an endpoint that was known to leave.

Change: while a continuation that was sent has no event yet, the events of an endpoint that leaves (notice, registration removed, data centre out) are held. The continuation's first event drops them; it begins after the last event that the caller got, so the events stay whole and of one run. If the continuation is refused or not answered when the overlap ends, or if the endpoint ends its answer whole, they are passed on. The overlap of 200 ms bounds the wait, so two endpoints work no longer than before. At the end of the overlap, an endpoint whose connection broke and is being probed no longer ends its continuation.

--- a/packages/core/bytes/byteBlocks.ts
+++ b/packages/core/bytes/byteBlocks.ts
@@ -95,3 +95,18 @@
     : blocks.map((block, index) =>
         index === blocks.length - 1 ? block.subarray(0, filledOfLast) : block,
       );
+
+/**
+ * Takes the appended bytes out of the blocks, which are empty then.
+ *
+ * @param source - blocks
+ * @returns the bytes in order, in parts; none without bytes
+ */
+export const takeParts = (source: ByteBlocks): readonly Uint8Array[] => {
+  const parts = listParts(source);
+  source.blocks.length = 0;
+  source.filledOfLast = 0;
+  source.allocatedBytes = 0;
+  source.length = 0;
+  return parts;
+};
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -11,16 +11,16 @@
 import { failAttempt } from './crashes.js';
 import { finishStream, sendWholeAnswer } from './outcomes.js';
 import { endAttempt } from './retrying.js';
-import { endOverlap } from './silence.js';
+import { describeHeld, endOverlap, isHeldForContinuation } from './silence.js';
 import { findMissingPart } from './streamEnd.js';
 import { checkStreamEnd } from './transfers.js';
 import type { AttemptEnd } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import { appendChunk, listParts } from '../../core/bytes/byteBlocks.js';
+import { appendChunk, listParts, takeParts } from '../../core/bytes/byteBlocks.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
-import { splitEvents } from '../../decisions/forwarding/eventSplitter.js';
+import { hasOnlyComments, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
 import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
 import type { GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
@@ -204,7 +204,8 @@
   return [...endOpenAttempt(largest.forwarding, largest.attempt, end, context)];
 };
 
-const continueWhole = (
+/** Keeps bytes of an answer until it is whole, or until the stream's continuation has failed. */
+const holdBytes = (
   forwarding: Forwarding,
   attempt: Attempt,
   bytes: Uint8Array,
@@ -241,6 +242,43 @@
   return [...written, ...endOpenAttempt(forwarding, attempt, end, context)];
 };
 
+const holdStream = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  bytes: Uint8Array,
+  context: RequestsContext,
+): Effects => {
+  const described = attempt.body.length === 0 ? [describeHeld(forwarding, attempt, context)] : [];
+  return [...described, ...holdBytes(forwarding, attempt, bytes, context)];
+};
+
+/** Passes on what was held of a stream. */
+const continueHeldStream = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const bytes = joinParts(takeParts(attempt.body));
+  return continueStream(forwarding, attempt, bytes, context);
+};
+
+/**
+ * Passes on the events of a leaving endpoint that were held until now, if its continuation failed.
+ *
+ * @param forwarding - request, after one of its events was handled
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const releaseHeldStream = (forwarding: Forwarding, context: RequestsContext): Effects =>
+  [...forwarding.attempts.values()]
+    .filter(
+      (attempt) =>
+        attempt.body.length > 0 &&
+        isStreaming(forwarding, attempt) &&
+        !isHeldForContinuation(forwarding, attempt, context),
+    )
+    .flatMap((attempt) => continueHeldStream(forwarding, attempt, context));
+
 /**
  * Handles bytes of an endpoint's answer: forwards complete events, or buffers a whole answer.
  *
@@ -255,10 +293,12 @@
   attempt: Attempt,
   bytes: Uint8Array,
   context: RequestsContext,
-): Effects =>
-  isStreaming(forwarding, attempt)
-    ? continueStream(forwarding, attempt, bytes, context)
-    : continueWhole(forwarding, attempt, bytes, context);
+): Effects => {
+  if (!isStreaming(forwarding, attempt)) return holdBytes(forwarding, attempt, bytes, context);
+  return isHeldForContinuation(forwarding, attempt, context)
+    ? holdStream(forwarding, attempt, bytes, context)
+    : continueStream(forwarding, attempt, bytes, context);
+};
 
 const observeAnswer = (attempt: Attempt, context: RequestsContext): GatewayEffect => ({
   kind: 'post',
@@ -288,6 +328,24 @@
   ];
 };
 
+/** Ends a stream of which events are held: if it is whole, the continuation is not needed. */
+const endHeldStream = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  const split = splitEvents(attempt.splitter, joinParts(listParts(attempt.body)));
+  const { fault } = checkEventOrder(split.events, getProgress(forwarding));
+  if (fault !== null || !hasOnlyComments(split.state.rest)) {
+    if (checkStreamEnd(attempt, 'broken') === 'wait') return [];
+    const message = fault ?? 'the stream ended inside an event';
+    return failAttempt(forwarding, attempt, { kind: 'broken', message }, context);
+  }
+  const continued = continueHeldStream(forwarding, attempt, context);
+  const isOpen = forwarding.attempts.has(attempt.number);
+  return isOpen ? [...continued, ...endStream(forwarding, attempt, context)] : continued;
+};
+
 /**
  * Handles the end of an endpoint's answer.
  *
@@ -307,7 +365,9 @@
     return endAttempt(forwarding, attempt, end, context);
   }
   if (isStreaming(forwarding, attempt)) {
-    return endStream(forwarding, attempt, context);
+    return attempt.body.length > 0
+      ? endHeldStream(forwarding, attempt, context)
+      : endStream(forwarding, attempt, context);
   }
   const { allocatedBytes: heldBytes } = attempt.body;
   const answer = { head, body: listParts(attempt.body), heldBytes };
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,4 +1,4 @@
-import { continueAnswer, finishAnswer, startAnswer } from './answering.js';
+import { continueAnswer, finishAnswer, releaseHeldStream, startAnswer } from './answering.js';
 import { removeForwarding } from './answerMemory.js';
 import { cancelAttempts, placeRequest } from './attempts.js';
 import {
@@ -274,7 +274,9 @@
     case 'run-checked':
     case 'overlap-ended': {
       const attempt = forwarding.attempts.get(event.attempt);
-      return attempt === undefined ? [] : handleAttemptEvent(event, forwarding, attempt, context);
+      if (attempt === undefined) return [];
+      const handled = handleAttemptEvent(event, forwarding, attempt, context);
+      return [...handled, ...releaseHeldStream(forwarding, context)];
     }
     default:
       return assertNever(event);
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -17,7 +17,7 @@
 
 /** What is done about a stream whose endpoint is silent. */
 type SilenceResponse =
-  'continued' | 'moved' | 'unanswered' | 'no-endpoint' | 'budget-spent' | 'unverified';
+  'continued' | 'moved' | 'held' | 'unanswered' | 'no-endpoint' | 'budget-spent' | 'unverified';
 
 const scheduleStallCheck = (
   { request }: Forwarding,
@@ -169,6 +169,53 @@
   return { kind: 'silent', message: `no event for ${silentMs.toString()} ms` };
 };
 
+/** Reports whether an endpoint may end before it has finished what it holds. */
+const isLeaving = ({ endpoint }: Attempt, { inputs }: RequestsContext): boolean => {
+  const state = inputs.findHolder(endpoint);
+  return state.kind === 'lost' || state.leavingAt !== null || state.dataCentreOutAt !== null;
+};
+
+/**
+ * Reports whether the events of a leaving endpoint wait until the continuation of its stream has begun
+ * or failed. The continuation has used the only copy, and the endpoint may break off right after the
+ * events that it made during its silence. The caller gets the events of one of the two: the
+ * continuation repeats those that are held, and its own may differ from them.
+ *
+ * @param forwarding - request with a stream
+ * @param attempt - attempt that received events
+ * @param context - state and inputs
+ * @returns false when the events can be passed on; the end of the overlap ends the wait
+ */
+export const isHeldForContinuation = (
+  { attempts }: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): boolean => {
+  const isContinued = [...attempts.values()].some(
+    ({ events, number, phase, purpose }) =>
+      number > attempt.number &&
+      purpose === 'continuation' &&
+      phase !== 'connecting' &&
+      events === 0,
+  );
+  return isContinued && isLeaving(attempt, context);
+};
+
+/**
+ * Describes that a silent endpoint went on and that its events are held.
+ *
+ * @param forwarding - request with a stream
+ * @param attempt - attempt that received the first held event
+ * @param context - state and inputs
+ * @returns the log line
+ */
+export const describeHeld = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  { inputs }: RequestsContext,
+): GatewayEffect =>
+  describeSilence(forwarding, attempt, inputs.clock.now() - attempt.lastEventAt, 'held');
+
 /**
  * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed. A
  * continuation that has not been answered is ended instead, since both may not go on.
@@ -184,6 +231,8 @@
   context: RequestsContext,
 ): Effects => {
   const others = [...forwarding.attempts.values()].filter((other) => other !== attempt);
+  // The probe of a connection that broke ends the attempt, and the continuation goes on.
+  if (attempt.failure !== null) return [];
   // Each continuation has an overlap of its own, from the time at which it is sent.
   if (!others.some(({ phase }) => phase !== 'connecting')) return [];
   const isAnswered = others.some(({ phase }) => phase === 'answering');
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -65,7 +65,7 @@
   backup: EndpointRecord | null;
   phase: AttemptPhase;
   head: AnswerHead | null;
-  /** Whole answer, as far as it has been received; empty for a stream. */
+  /** Whole answer, as far as it has been received; of a stream, what is held (`releaseHeldStream`). */
   readonly body: ByteBlocks;
   splitter: SplitterState;
   /** Bytes that the daemon keeps of the answer, as counted in `RequestsState.answerBytes`. */
