--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,7 +26,7 @@
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['**/*.ts'],
+    files: ['**/*.ts', '**/*.cts'],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -101,7 +101,9 @@
     startedAt = clock.now();
     writeSettings(platform.formatSettings(spec));
     const started = spawn(process.execPath, [...platform.program], {
-      env: { ...process.env, [platform.settingsVariable]: settingsPath },
+      // Of the other variables, some make the start of Node.js longer (NODE_EXTRA_CA_CERTS), and a
+      // platform does not hand them on.
+      env: { PATH: process.env['PATH'], [platform.settingsVariable]: settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     started.stdout.pipe(log, { end: false });
