Transfer a resumable stream that may not run again when its endpoint leaves

Cause: the continuation that was cancelled when the engine went on counts as a run. With it, the stream has reached as many endpoints as its route permits, so none may run it after the engine's end. Streams that may be resumed were never transferred at a notice, whether they could still run elsewhere or not.

Evidence: the new test of silence.test.ts fails without the change; a stream that may run again is still left where it is.

Change: such a stream is transferred like one that may not be resumed. A transfer goes on with the same run, as PROTOCOL.md states of Kv-From, so it reaches no endpoint more than permitted.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -305,6 +305,25 @@
   t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 5)));
 });
 
+// Guards against a resumable stream that is cut when its endpoint leaves: the continuation that was
+// cancelled counts as a run, so no further endpoint may run it (planned soak, seed 36123).
+test('a resumable stream that may not run again is transferred when its endpoint leaves', (t) => {
+  for (const [winner, expected] of [
+    ['silent', 'transferred'],
+    ['none', 'left'],
+  ] as const) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/summary/1');
+    if (winner === 'silent') {
+      startAnswer(harness, getOrder(harness.wait(LONG_SILENCE_MS)));
+      sendEvents(harness, order, 4, 4);
+    }
+    const effects = [...postNotice(harness, order), ...harness.wait(50)];
+    const isTransferred = findEffect(effects, 'start-transfer') !== undefined;
+    t.is(isTransferred, expected === 'transferred');
+  }
+});
+
 // Guards against a stream that reaches more endpoints than its route permits, because an attempt that
 // the overlap ended was not counted as a run.
 test('a stream reaches no more endpoints than permitted by repeated silences', (t) => {
--- a/packages/gateway/requests/transferTurns.ts
+++ b/packages/gateway/requests/transferTurns.ts
@@ -59,8 +59,13 @@
     .listEndpoints(backup.service)
     .some(({ record }) => record.id === backup.id && record.phase === 'ready');
 
+/** Reports whether a further endpoint may run a stream once this attempt has ended. */
+const isRunnableAgain = ({ possibleRuns, route }: Forwarding): boolean =>
+  route.resume === 'resumable' && possibleRuns + 1 < route.maxEndpoints;
+
 /**
- * Reports whether a generation has to be transferred when its endpoint leaves.
+ * Reports whether a generation has to be transferred when its endpoint leaves. A transfer goes on with
+ * the same run, so it does not count against the endpoints that may run a stream.
  *
  * @param run - generation
  * @param context - state and inputs
@@ -71,7 +76,7 @@
   context: RequestsContext,
 ): boolean =>
   forwarding.route.answer === 'stream' &&
-  forwarding.route.resume === 'single-run' &&
+  !isRunnableAgain(forwarding) &&
   attempt.transfer === null &&
   // A generation with a usable backup fails over to it when its endpoint ends.
   !hasUsableBackup(attempt, context);
