Keep an unanswered continuation when the notice of the silent endpoint has passed

Change: at the end of the overlap, an endpoint whose notice has passed (no transfer can start within it) or that is lost does not keep the stream for a continuation without an answer; its attempt ends as it does when the continuation has answered. Within the notice, the endpoint keeps the stream and waits for a transfer as before.

Evidence: the new test of silence.test.ts and the property with a slow continuation and a passed notice fail without the change. "A copy is not used again after its continuation was cancelled" renews the notice, since its endpoint would not keep the stream otherwise; it expects the same.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -255,6 +255,26 @@
   }
 });
 
+// Guards against a stream that is cut with its endpoint, whose notice has passed, because a continuation
+// that takes over 200 ms to answer is ended for it (planned soak, seed 36104): no transfer can follow.
+test('a continuation without an answer is kept when the notice of the endpoint has passed', (t) => {
+  for (const events of ['held', 'none'] as const) {
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/memo/1');
+    harness.wait(1_000);
+    postNotice(harness, order);
+    const continuation = getOrder(harness.wait(LONG_SILENCE_MS - 1_000));
+    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    if (events === 'held') sendEvents(harness, order, 4, 6);
+    const effects = harness.wait(MAX_OVERLAP_MS);
+    t.is(findEffect(effects, 'cancel-attempt')?.attempt, order.attempt);
+    t.is(findWritten(effects), undefined);
+    harness.post({ ...toEvent(continuation), kind: 'answer-started', head: SIGNED_HEAD });
+    const written = sendEvents(harness, continuation, 4, 8);
+    t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 8)));
+  }
+});
+
 // Guards against events that are lost while they are held: the continuation may be refused, and the
 // stream may be complete with them.
 test('held events of a leaving endpoint are passed on when its continuation is not needed', (t) => {
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -1,13 +1,13 @@
 import { removeAttempt } from './answerMemory.js';
 import { openContinuation, planFromCopy, planFurtherAttempt } from './attempts.js';
 import type { AttemptPlan } from './attempts.js';
-import { CONTINUATION_OVERLAP_MS } from './constants.js';
+import { CONTINUATION_OVERLAP_MS, TRANSFER_RETRY_MS } from './constants.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { endAttempt, takeFromBudget } from './retrying.js';
 import type { AttemptEnd } from './retrying.js';
 import { computeStallTimeout } from './stallTimeout.js';
-import { waitForTransfer } from './transferTurns.js';
+import { isWithinNotice, waitForTransfer } from './transferTurns.js';
 import { transferAtOnce } from './transfers.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -218,7 +218,8 @@
 
 /**
  * Ends the attempt at a silent endpoint, unless the endpoint went on or the continuation failed. A
- * continuation that has not been answered is ended instead, since both may not go on.
+ * continuation that has not been answered is ended instead, since both may not go on, unless the notice
+ * of the silent endpoint has passed.
  *
  * @param forwarding - request
  * @param attempt - attempt that was silent when its continuation started
@@ -236,7 +237,9 @@
   // Each continuation has an overlap of its own, from the time at which it is sent.
   if (!others.some(({ phase }) => phase !== 'connecting')) return [];
   const isAnswered = others.some(({ phase }) => phase === 'answering');
-  if (!isAnswered && forwarding.route.resume !== 'resumable') {
+  // An endpoint whose notice has passed ends before a transfer could replace the copy that was used.
+  const isEnding = !isWithinNotice(attempt.endpoint, TRANSFER_RETRY_MS, context);
+  if (!isAnswered && !isEnding && forwarding.route.resume !== 'resumable') {
     // The other endpoint may still refuse, and a generation could then not be placed again.
     const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
     return [
--- a/packages/gateway/requests/silenceOrders.test.ts
+++ b/packages/gateway/requests/silenceOrders.test.ts
@@ -18,6 +18,12 @@
 /** Time for which two endpoints may work on the same generation. */
 const MAX_OVERLAP_MS = 400;
 
+/** Time from the start of a stream after which its endpoint gets a notice that passes meanwhile. */
+const EARLY_NOTICE_MS = 1_000;
+
+/** Time that a slow continuation needs for its answer. */
+const PAUSE_MS = 300;
+
 const RUNS = 2_000;
 
 const REFUSED: AnswerHead = {
@@ -30,7 +36,9 @@
 /** One thing that an endpoint does; `events` states the ids of the first and the last one. */
 type Step =
   | { readonly kind: 'connect' | 'accept' | 'refuse' | 'unreachable' | 'reset' | 'end' }
-  | { readonly kind: 'events'; readonly from: number; readonly to: number };
+  | { readonly kind: 'events'; readonly from: number; readonly to: number }
+  /** Nothing, for longer than the overlap. */
+  | { readonly kind: 'pause' };
 
 const toEvents = (from: number, to: number): Step => ({ kind: 'events', from, to });
 
@@ -50,6 +58,13 @@
     toEvents(7, 8),
     { kind: 'end' },
   ],
+  slow: [
+    { kind: 'connect' },
+    { kind: 'pause' },
+    { kind: 'accept' },
+    toEvents(4, EVENT_COUNT),
+    { kind: 'end' },
+  ],
   refused: [{ kind: 'connect' }, { kind: 'refuse' }],
   unreachable: [{ kind: 'unreachable' }],
   mute: [{ kind: 'connect' }],
@@ -58,7 +73,7 @@
 interface Case {
   readonly path: string;
   /** Whether the first endpoint leaves, and when the daemon learns it. */
-  readonly notice: 'none' | 'before' | 'between';
+  readonly notice: 'none' | 'passed' | 'before' | 'between';
   readonly first: keyof typeof FIRST_SCRIPTS;
   readonly continuation: keyof typeof CONTINUATION_SCRIPTS;
   /** Which endpoint does its next step, and the time before it. */
@@ -68,7 +83,10 @@
 const describeEvent = (id: number, attempt: number): string =>
   `id: ${id.toString()}\ndata: from ${attempt.toString()}\n\n`;
 
-const toStepEvent = (step: Step, { attempt, key }: AttemptOrder): RequestsEvent => {
+const toStepEvent = (
+  step: Exclude<Step, { kind: 'pause' }>,
+  { attempt, key }: AttemptOrder,
+): RequestsEvent => {
   const base = { to: 'requests', key, attempt } as const;
   switch (step.kind) {
     case 'connect':
@@ -147,6 +165,10 @@
 
   const perform = (step: Step, order: AttemptOrder): void => {
     if (!opened.has(order.attempt)) return;
+    if (step.kind === 'pause') {
+      wait(PAUSE_MS);
+      return;
+    }
     if (step.kind === 'reset' || step.kind === 'end' || step.kind === 'refuse')
       working.delete(order.attempt);
     apply(harness.post(toStepEvent(step, order)));
@@ -162,7 +184,9 @@
     harness.holders.set(endpoint, { kind: 'known', leavingAt, dataCentreOutAt: null });
     apply(harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint }));
   };
-  wait(SILENCE_MS / 2);
+  wait(EARLY_NOTICE_MS);
+  if (played.notice === 'passed') giveNotice();
+  wait(SILENCE_MS / 2 - EARLY_NOTICE_MS);
   if (played.notice === 'before') giveNotice();
   wait(SILENCE_MS / 2);
   const continuation = [...opened.values()].find(({ attempt }) => attempt !== first.attempt);
@@ -199,7 +223,7 @@
 
 const CASE: fc.Arbitrary<Case> = fc.record({
   path: fc.constantFrom('/memo/1', '/summary/1'),
-  notice: fc.constantFrom('none', 'before', 'between'),
+  notice: fc.constantFrom('none', 'passed', 'before', 'between'),
   first: fc.constantFrom(...(Object.keys(FIRST_SCRIPTS) as Case['first'][])),
   continuation: fc.constantFrom(...(Object.keys(CONTINUATION_SCRIPTS) as Case['continuation'][])),
   order: fc.array(fc.tuple(fc.constantFrom('first', 'continuation'), fc.constantFrom(0, 10, 20)), {
@@ -211,6 +235,7 @@
 const isServable = ({ continuation, first, notice }: Case): boolean => {
   if (first === 'events, end') return true;
   const isKnown = notice !== 'none';
+  if (notice === 'passed' && continuation === 'slow') return first !== 'events';
   // Without a notice, the endpoint whose event comes first keeps the stream.
   if (first === 'events, reset') return isKnown && continuation === 'served';
   return first !== 'events' && continuation === 'served';
--- a/packages/gateway/requests/transferTurns.ts
+++ b/packages/gateway/requests/transferTurns.ts
@@ -81,6 +81,26 @@
   // A generation with a usable backup fails over to it when its endpoint ends.
   !hasUsableBackup(attempt, context);
 
+/**
+ * Reports whether a transfer from an endpoint can start within its notice. An endpoint that is lost has
+ * none left.
+ *
+ * @param endpoint - endpoint that runs the generation
+ * @param delayMs - time until the start
+ * @param context - state and inputs
+ * @returns false when it would come too late; true also for an endpoint that does not leave
+ */
+export const isWithinNotice = (
+  endpoint: EndpointRecord,
+  delayMs: Millis,
+  { inputs }: RequestsContext,
+): boolean => {
+  const holder = inputs.findHolder(endpoint);
+  if (holder.kind === 'lost') return false;
+  const { leavingMs } = inputs.getLiveSettings().learnWithin;
+  return holder.leavingAt === null || inputs.clock.now() + delayMs < holder.leavingAt + leavingMs;
+};
+
 /**
  * Lets a generation wait for its transfer if it resumes at a leaving endpoint, or if its transfer from
  * there failed. Each transfer that fails after the source stopped interrupts the stream, so the delay
@@ -92,13 +112,13 @@
  */
 export const waitForTransfer = (run: RunningGeneration, context: RequestsContext): Effects => {
   const { attempt, forwarding } = run;
-  const { clock, findHolder, getLiveSettings } = context.inputs;
+  const { clock, findHolder } = context.inputs;
   const holder = findHolder(attempt.endpoint);
   if (holder.kind === 'lost' || holder.leavingAt === null) return [];
   if (!isTransferNeeded(run, context)) return [];
   const delayMs = TRANSFER_RETRY_MS * 2 ** forwarding.repeatedTransfers;
+  if (!isWithinNotice(attempt.endpoint, delayMs, context)) return [];
   const dueAt = clock.now() + delayMs;
-  if (dueAt >= holder.leavingAt + getLiveSettings().learnWithin.leavingMs) return [];
   forwarding.repeatedTransfers += 1;
   attempt.transfer = { phase: 'waiting', tries: 0, dueAt };
   return [
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -354,9 +354,12 @@
 // copy, which therefore counts as lost.
 test('a copy is not used again after its continuation was cancelled', (t) => {
   const { continuation, harness, order } = continueFromCopy();
+  // The source is leaving, so its events are held until the overlap ends without an answer. Its notice
+  // has not passed, so it keeps the stream then.
+  const leavingAt = harness.getNow();
+  harness.holders.set('e-1', { kind: 'known', leavingAt, dataCentreOutAt: null });
   const bytes = buildEvents(10, 11);
   harness.post({ ...toEvent(order), kind: 'answer-continued', bytes });
-  // The source is leaving, so its events are held until the overlap ends without an answer.
   const resumed = harness.wait(MAX_OVERLAP_MS);
   t.is(findEffect(resumed, 'cancel-attempt')?.attempt, continuation.attempt);
   t.deepEqual(findEffect(resumed, 'write-answer')?.bytes, Buffer.from(bytes));
