Do not take a stream for complete when held events of another endpoint follow

A continuation that ends its answer without an event means that nothing was left. Since the events of a leaving endpoint are held for it, such an end of a faulty endpoint would have dropped them and completed the stream early. The end counts as broken now if an event is held, and the held events are passed on.

The test fails without the check.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -21,7 +21,7 @@
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
 import { hasOnlyComments, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
-import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
+import type { SplitResult, StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
 import type { GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
@@ -310,11 +310,21 @@
   },
 });
 
+const splitHeld = ({ body, splitter }: Attempt): SplitResult =>
+  splitEvents(splitter, joinParts(listParts(body)));
+
+/** Finds out whether a stream ended without the events that are held of another endpoint. */
+const findContradiction = ({ attempts }: Forwarding, { events }: Attempt): string | null => {
+  const isContradicted =
+    events === 0 && [...attempts.values()].some((other) => splitHeld(other).events.length > 0);
+  return isContradicted ? 'before events of another endpoint' : null;
+};
+
 const endStream = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
   // The source of a transfer closes its stream, which for this framing looks like the end.
   if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt, 'ended') === 'wait')
     return [];
-  const place = findMissingPart(forwarding, attempt);
+  const place = findMissingPart(forwarding, attempt) ?? findContradiction(forwarding, attempt);
   if (place !== null) {
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
@@ -334,7 +344,7 @@
   attempt: Attempt,
   context: RequestsContext,
 ): Effects => {
-  const split = splitEvents(attempt.splitter, joinParts(listParts(attempt.body)));
+  const split = splitHeld(attempt);
   const { fault } = checkEventOrder(split.events, getProgress(forwarding));
   if (fault !== null || !hasOnlyComments(split.state.rest)) {
     if (checkStreamEnd(attempt, 'broken') === 'wait') return [];
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -308,6 +308,19 @@
   t.deepEqual(findWritten(written), Buffer.from(buildEvents(4, 8)));
 });
 
+// Guards against an answer that ends early and looks complete: a continuation that ends without an event
+// means that nothing was left, which held events of the other endpoint contradict.
+test('a continuation that ends without the held events does not complete the stream', (t) => {
+  const harness = createRequestsHarness();
+  const { continuation, order } = startLeavingStream(harness, '/memo/1');
+  startAnswer(harness, continuation);
+  sendEvents(harness, order, 4, 6);
+  const effects = harness.post({ ...toEvent(continuation), kind: 'answer-ended' });
+  t.is(findEffect(effects, 'end-answer'), undefined);
+  t.is(findEffect(effects, 'break-answer'), undefined);
+  t.deepEqual(findWritten(effects), Buffer.from(buildEvents(4, 6)));
+});
+
 // Guards against a continuation that is cancelled at the end of the overlap, although the connection
 // to the silent endpoint is broken and only its probe is pending.
 test('a continuation outlasts the overlap when the silent endpoint broke off', (t) => {
