Answer what has been read before a daemon ends with a fault

Callers saw: a gateway whose supervisor gave up (a child that fails six times in a minute) closed all connections without an answer, whole requests included (LOST beside a process that ends by itself). Besides, a failed child of requests answered half-read bodies with 500, which callers do not repeat, and a request that was refused so while it was being accepted ran nevertheless.

Cause: only a drain answered what was left; a fault went straight to closing. The refusal of all requests after the loss of their state did not ask whether the decisions had got them yet.

Change: the end of a daemon refuses all requests that have been read whole and are still open; the refusal leaves out those that are still being read, and a refused one is not posted. The server stops listening at the end.

--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -54,3 +54,21 @@
   await harness.waitForRequest('present');
   t.deepEqual(harness.listArrivals(), ['present']);
 });
+
+// Guards against a request that is answered because the state of all requests was lost, and runs after it.
+test('a request that was refused while it was being accepted is not passed on', async (t) => {
+  const harness = await startCallerServer(t);
+  harness.setLate();
+  const caller = harness.openCaller();
+  caller.send(formatRequest('r-1'));
+  while (harness.responders.count() === 0) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  harness.perform({ kind: 'reset-requests' });
+  await caller.waitForText('500');
+  caller.send(formatRequest('r-2'));
+  await harness.waitForRequest('r-2');
+  t.deepEqual(harness.listArrivals(), ['r-2']);
+});
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -185,6 +185,8 @@
       responders.remove(key);
       return;
     }
+    // It was refused because the state of all requests was lost meanwhile.
+    if (!responders.has(key)) return;
     response.on('close', () => {
       if (responders.has(key)) options.postDisconnect(key);
     });
@@ -248,6 +250,7 @@
     },
     close: () => {
       connections.reportLeft();
+      server.close();
       server.closeAllConnections();
     },
   };
--- a/packages/gateway/frontend/responders.ts
+++ b/packages/gateway/frontend/responders.ts
@@ -43,7 +43,10 @@
   readonly breakAnswer: (key: number, cause: ConnectionEndCause) => void;
   /** Closes a connection once all requests that have been read whole on it have their answers. */
   readonly closeAfterAnswers: (socket: Duplex, close: () => void) => void;
-  /** Refuses all requests after the loss of their state. */
+  /**
+   * Refuses all requests that have been read whole, after the loss of their state. The others have not been
+   * passed on to the decisions yet.
+   */
   readonly refuseAll: (failure: Failure) => void;
   /** Makes every later answer the last one on its connection. */
   readonly startDrain: () => void;
@@ -238,7 +241,9 @@
     breakAnswer,
     closeAfterAnswers: queues.closeAfterAnswers,
     refuseAll: (failure) => {
-      for (const key of [...open.keys()]) refuseWith(key, failure, 'state-lost');
+      for (const [key, { response }] of [...open]) {
+        if (response.req.complete) refuseWith(key, failure, 'state-lost');
+      }
     },
     startDrain: () => {
       phase = 'draining';
--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -3,6 +3,7 @@
 import { GATEWAY_HOLDERS } from './memory.js';
 import type { GatewaySettings, HeadCodec } from './types.js';
 import { openAddress } from '../core/openAddress.js';
+import { createFailure } from '../core/verdict.js';
 import { wireGateway } from './wiring.js';
 import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
 
@@ -19,6 +20,12 @@
 const STATUS_READY = 200;
 const STATUS_UNREADY = 503;
 
+const ENDED_BEFORE_ANSWER = createFailure(
+  'may-have-run',
+  'internal',
+  'the gateway daemon ended before the answer was complete',
+);
+
 /** Delay after the start until the metrics libraries are loaded. */
 const METRICS_LOAD_DELAY_MS = 2_000;
 
@@ -106,6 +113,8 @@
     events.record('daemon-stopped', { data: { reason: reason.kind, left } });
     clearTimeout(loadTimer);
     daemon.stop();
+    // A daemon that ends with a fault has not drained.
+    responders.refuseAll(ENDED_BEFORE_ANSWER);
     cradle.endpoints.close();
     ports.feeds.close();
     callers.close();
