--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -4,6 +4,7 @@
 import type { GatewaySettings, HeadCodec } from './types.js';
 import { formatError } from '../core/events/formatError.js';
 import { openAddress } from '../core/openAddress.js';
+import { createFailure } from '../core/verdict.js';
 import { wireGateway } from './wiring.js';
 import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
 
@@ -22,6 +23,12 @@
 const STATUS_READY = 200;
 const STATUS_UNREADY = 503;
 
+const ENDED_BEFORE_ANSWER = createFailure(
+  'may-have-run',
+  'internal',
+  'the gateway daemon ended before the answer was complete',
+);
+
 /** Delay after the start until the metrics libraries are loaded. */
 const METRICS_LOAD_DELAY_MS = 2_000;
 
@@ -116,6 +123,8 @@
     clearTimeout(loadTimer);
     metricsAbort.abort();
     daemon.stop();
+    // A daemon that ends with a fault has not drained.
+    responders.refuseAll(ENDED_BEFORE_ANSWER);
     cradle.endpoints.close();
     ports.feeds.close();
     callers.close();
