Read what has arrived before the entry and endpoint daemon end open work

Evidence: by code and by the tests of both gates, which ask for the read in between; not shown with a process.

--- a/packages/endpoint/perform.ts
+++ b/packages/endpoint/perform.ts
@@ -4,6 +4,7 @@
 import type { EndpointEffect, EndpointEvent } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
+import { runAfterReads } from '../core/loop/runAfterReads.js';
 import type { Loop } from '../core/loop/types.js';
 
 /** Adapters that carry out the effects of an endpoint daemon. */
@@ -29,6 +30,11 @@
     case 'post':
       loop().post(effect.event);
       return;
+    case 'post-after-reads':
+      runAfterReads(() => {
+        loop().post(effect.event);
+      });
+      return;
     case 'schedule':
       loop().schedule(effect.delayMs, effect.event);
       return;
--- a/packages/endpoint/rpc/gate.ts
+++ b/packages/endpoint/rpc/gate.ts
@@ -77,7 +77,16 @@
 const NEXT_CHECK: EndpointEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
-  event: { to: 'rpc', kind: 'drain-checked' },
+  event: { to: 'rpc', kind: 'drain-checked', reads: 'due' },
+};
+
+/**
+ * A process that had no processor for a while runs its timers before it reads. What the engine has sent is
+ * read before the open work is ended.
+ */
+const CHECK_AFTER_READS: EndpointEffect = {
+  kind: 'post-after-reads',
+  event: { to: 'rpc', kind: 'drain-checked', reads: 'done' },
 };
 
 const startDrain = (state: GateState, reason: string, inputs: GateInputs): GateStep => {
@@ -93,11 +102,12 @@
   );
 };
 
-const checkDrain = (state: GateState, inputs: GateInputs): GateStep => {
+const checkDrain = (state: GateState, reads: 'due' | 'done', inputs: GateInputs): GateStep => {
   if (state.phase !== 'draining') return toStep(state);
   const left = inputs.countOpenWork();
   const isOver = inputs.now() - state.since >= inputs.drainMs;
   if (left > 0 && !isOver) return toStep(state, NEXT_CHECK);
+  if (left > 0 && reads === 'due') return toStep(state, CHECK_AFTER_READS);
   return toStep<GateState, EndpointEffect>({ phase: 'ended' }, { kind: 'end-process', left });
 };
 
@@ -126,7 +136,7 @@
       case 'drain-started':
         return startDrain(state, event.reason, inputs);
       case 'drain-checked':
-        return checkDrain(state, inputs);
+        return checkDrain(state, event.reads, inputs);
       default:
         return assertNever(event);
     }
--- a/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
+++ b/packages/endpoint/rpc/gracefulShutdown.promise.test.ts
@@ -67,7 +67,9 @@
   };
   for (now = 0; now < SIMULATION_MS; now += DRAIN_CHECK_MS) {
     if (now === drainAt) apply({ to: 'rpc', kind: 'drain-started', reason: 'test' });
-    apply({ to: 'rpc', kind: 'drain-checked' });
+    const checks = apply({ to: 'rpc', kind: 'drain-checked', reads: 'due' });
+    if (checks.some(({ kind }) => kind === 'post-after-reads'))
+      apply({ to: 'rpc', kind: 'drain-checked', reads: 'done' });
     for (const item of workItems.filter(({ at }) => at === now)) {
       const effects = apply({ to: 'rpc', kind: 'generate-requested', call: START });
       if (!effects.some(({ kind }) => kind === 'post')) continue;
@@ -141,5 +143,12 @@
     ['schedule'],
   );
   now = MAX_WORK_MS;
-  t.is(logic.decide(restarted.state, { to: 'rpc', kind: 'drain-checked' }).state.phase, 'ended');
+  // What the engine has sent is read first: a process that had no processor runs its timers before.
+  const due = logic.decide(restarted.state, { to: 'rpc', kind: 'drain-checked', reads: 'due' });
+  t.deepEqual(
+    due.effects.map(({ kind }) => kind),
+    ['post-after-reads'],
+  );
+  const read: RpcEvent = { to: 'rpc', kind: 'drain-checked', reads: 'done' };
+  t.is(logic.decide(due.state, read).state.phase, 'ended');
 });
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -280,7 +280,7 @@
   | { readonly to: 'rpc'; readonly kind: 'generate-requested'; readonly call: GenerateCall }
   | { readonly to: 'rpc'; readonly kind: 'call-requested'; readonly call: ServiceCall }
   | { readonly to: 'rpc'; readonly kind: 'drain-started'; readonly reason: string }
-  | { readonly to: 'rpc'; readonly kind: 'drain-checked' };
+  | { readonly to: 'rpc'; readonly kind: 'drain-checked'; readonly reads: 'due' | 'done' };
 
 export type EndpointEvent =
   PlatformEvent | EngineEvent | StreamsEvent | CallsEvent | HeartbeatsEvent | RpcEvent;
@@ -301,6 +301,8 @@
 
 export type EndpointEffect =
   | { readonly kind: 'post'; readonly event: EndpointEvent }
+  /** Posts an event once all sockets that have data now have been read. */
+  | { readonly kind: 'post-after-reads'; readonly event: EndpointEvent }
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EndpointEvent }
   | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
   | { readonly kind: 'fetch-list' }
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -213,7 +213,7 @@
 export type FrontendEvent =
   | { readonly to: 'frontend'; readonly kind: 'request-arrived'; readonly request: CallerRequest }
   | { readonly to: 'frontend'; readonly kind: 'drain-started'; readonly reason: string }
-  | { readonly to: 'frontend'; readonly kind: 'drain-checked' };
+  | { readonly to: 'frontend'; readonly kind: 'drain-checked'; readonly reads: 'due' | 'done' };
 
 export type EntryEvent =
   | ListEvent
@@ -228,6 +228,8 @@
 
 export type EntryEffect =
   | { readonly kind: 'post'; readonly event: EntryEvent }
+  /** Posts an event once all sockets that have data now have been read. */
+  | { readonly kind: 'post-after-reads'; readonly event: EntryEvent }
   | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EntryEvent }
   | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
   | {
--- a/packages/entry/frontend/gate.ts
+++ b/packages/entry/frontend/gate.ts
@@ -33,7 +33,16 @@
 const NEXT_CHECK: EntryEffect = {
   kind: 'schedule',
   delayMs: DRAIN_CHECK_MS,
-  event: { to: 'frontend', kind: 'drain-checked' },
+  event: { to: 'frontend', kind: 'drain-checked', reads: 'due' },
+};
+
+/**
+ * A process that had no processor for a while runs its timers before it reads. Answers that have arrived
+ * are read before the open requests are ended.
+ */
+const CHECK_AFTER_READS: EntryEffect = {
+  kind: 'post-after-reads',
+  event: { to: 'frontend', kind: 'drain-checked', reads: 'done' },
 };
 
 const handleArrival = (state: GateState, request: CallerRequest): EntryEffect => {
@@ -59,7 +68,7 @@
 const finishDrain = (left: number): GateStep =>
   toStep<GateState, EntryEffect>({ phase: 'ended' }, { kind: 'end-process', left });
 
-const checkDrain = (state: GateState, inputs: GateInputs): GateStep => {
+const checkDrain = (state: GateState, reads: 'due' | 'done', inputs: GateInputs): GateStep => {
   const now = inputs.now();
   const open = inputs.countOpen();
   switch (state.phase) {
@@ -69,6 +78,7 @@
     case 'draining':
       if (open === 0) return finishDrain(0);
       if (now - state.since < inputs.drainMs) return toStep(state, NEXT_CHECK);
+      if (reads === 'due') return toStep(state, CHECK_AFTER_READS);
       return toStep<GateState, EntryEffect>(
         { phase: 'handing-over', since: now },
         { kind: 'post', event: { to: 'requests', kind: 'drain-ended' } },
@@ -76,6 +86,7 @@
       );
     case 'handing-over':
       if (open > 0 && now - state.since < inputs.handOverGraceMs) return toStep(state, NEXT_CHECK);
+      if (open > 0 && reads === 'due') return toStep(state, CHECK_AFTER_READS);
       return finishDrain(open);
     default:
       return assertNever(state);
@@ -105,7 +116,7 @@
       case 'drain-started':
         return startDrain(state, event.reason, inputs);
       case 'drain-checked':
-        return checkDrain(state, inputs);
+        return checkDrain(state, event.reads, inputs);
       default:
         return assertNever(event);
     }
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -6,6 +6,7 @@
 import type { EndpointClient } from './requests/endpointMessages.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
+import { runAfterReads } from '../core/loop/runAfterReads.js';
 import type { Loop } from '../core/loop/types.js';
 import type { Metrics } from '../core/metrics/metrics.js';
 import { createFailure } from '../core/verdict.js';
@@ -96,6 +97,11 @@
     case 'post':
       loop().post(effect.event);
       return;
+    case 'post-after-reads':
+      runAfterReads(() => {
+        loop().post(effect.event);
+      });
+      return;
     case 'schedule':
       loop().schedule(effect.delayMs, effect.event);
       return;
