--- a/packages/gateway/requests/silenceOrders.test.ts
+++ b/packages/gateway/requests/silenceOrders.test.ts
@@ -262,7 +262,7 @@
 });
 
 // Guards against a stream that is cut although the leaving endpoint or the continuation could have
-// finished it (KNOWN-RED.txt, entry 5).
+// finished it (docs/incidents/lost-held-events.md).
 test('a stream that one of two endpoints can finish is not cut', (t) => {
   fc.assert(
     fc.property(CASE.filter(isServable), (played) => runCase(played).end === 'whole'),
