Start a killed gateway of the soak again when its end is reported late

Cause, by the plan and the times of the files: an order to end came 2.1 s after the start, before the program had loaded, and the process was started again; it was killed 1.2 s later and ordered to start 0.43 s after that. The order does nothing while the child is known to run, and a killed process is not started again when its end is reported.

Change: an order to start that comes before the report is carried out with it.

--- a/packages/soak/gatewayProcess.ts
+++ b/packages/soak/gatewayProcess.ts
@@ -95,7 +95,11 @@
   };
 
   const start = (): void => {
-    if (child !== null) return;
+    if (child !== null) {
+      // On a busy machine the end of a killed process may be reported after the order to start.
+      if (phase === 'killed') child.once('exit', start);
+      return;
+    }
     incarnation += 1;
     phase = 'running';
     startedAt = clock.now();
