Start the count of a retry budget anew when its window changes its length

What callers saw: after a live change of the window's length, the budget of retries is exceeded (BUDGET).

Cause: buckets are numbered by the length of the window. After a longer one, the stored numbers are above the new ones and are never dropped; after a shorter one, all of them are dropped at once, and the slack is free again.

A change of the length drops the buckets and starts the count anew, as a restart does: no slack for a window. Instants and numbers of windows of different lengths cannot be compared.

--- a/app/deployBuild.test.ts
+++ b/app/deployBuild.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import { createBuildTree } from './deployBuild.fixture.js';
 
-const PROGRAM = 'target/platform/main.js';
+const PROGRAM = 'target/platform/start.cjs';
 
 /** Permission bits with which everyone can read a file. */
 const READABLE = 0o444;
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -22,7 +22,9 @@
 /** Requests and retries of one service in this daemon; only this module updates the window. */
 export interface BudgetWindow {
   /** Instant from which this daemon has counted; an earlier life of its process is unknown. */
-  readonly countedFrom: Millis;
+  countedFrom: Millis;
+  /** Length of the window of which the buckets are parts; null before the first one. */
+  lengthMs: Millis | null;
   readonly buckets: Bucket[];
 }
 
@@ -34,10 +36,26 @@
  */
 export const createBudgetWindow = (countedFrom: Millis): BudgetWindow => ({
   countedFrom,
+  lengthMs: null,
   buckets: [],
 });
 
+/** Buckets of windows of different lengths cannot be compared, so a change starts the count anew. */
+const updateLength = (
+  window: BudgetWindow,
+  { windowMs }: RetryBudgetSettings,
+  now: Millis,
+): void => {
+  if (window.lengthMs === windowMs) return;
+  if (window.lengthMs !== null) {
+    window.buckets.length = 0;
+    window.countedFrom = now;
+  }
+  window.lengthMs = windowMs;
+};
+
 const findBucket = (window: BudgetWindow, settings: RetryBudgetSettings, now: Millis): Bucket => {
+  updateLength(window, settings, now);
   const number = Math.floor((now * BUDGET_BUCKETS) / settings.windowMs);
   while (window.buckets[0] !== undefined && window.buckets[0].number <= number - REQUEST_BUCKETS) {
     window.buckets.shift();
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -208,9 +208,9 @@
   context: RequestsContext,
 ): boolean => {
   const isContinued = [...attempts.values()].some(
-    ({ events, number, phase, purpose }) =>
+    ({ events, number, permit, phase }) =>
       number > attempt.number &&
-      purpose === 'continuation' &&
+      permit.purpose === 'continuation' &&
       phase !== 'connecting' &&
       events === 0,
   );
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -29,7 +29,7 @@
 /** Folders of the outputs; the one of the program that the deploy file runs is placed last. */
 const OUTPUT_FOLDERS = ['packages', 'platform'];
 const OUTPUTS = OUTPUT_FOLDERS.map((name) => join(TARGET, name));
-const PROGRAM = 'platform/main.js';
+const PROGRAM = 'platform/start.cjs';
 const COMPILER = 'node_modules/typescript/bin/tsc';
 /** With it the compiler would write no output again whose sources are unchanged. */
 const OLD_BUILD_INFO = 'target/.tsbuildinfo';
