--- a/app/deployBuild.fixture.ts
+++ b/app/deployBuild.fixture.ts
@@ -29,20 +29,21 @@
 };
 const out = get('--outDir', 'target');
 const info = get('--tsBuildInfoFile', 'target/.tsbuildinfo');
-const files = ['platform/main', 'packages/part'];
-const text = files.map((file) => readFileSync(file + '.ts', 'utf8')).join('');
+const files = [
+  ['platform/start.cts', 'platform/start.cjs'],
+  ['packages/part.ts', 'packages/part.js'],
+];
+const text = files.map(([source]) => readFileSync(source, 'utf8')).join('');
+const copy = ([source, output]) => {
+  mkdirSync(dirname(join(out, output)), { recursive: true });
+  cpSync(source, join(out, output));
+};
 if (text.includes('SYNTAX ERROR')) {
-  for (const file of files.slice(1)) {
-    mkdirSync(dirname(join(out, file)), { recursive: true });
-    cpSync(file + '.ts', join(out, file + '.js'));
-  }
+  files.slice(1).forEach(copy);
   process.exit(2);
 }
 if (!existsSync(info) || readFileSync(info, 'utf8') !== text) {
-  for (const file of files) {
-    mkdirSync(dirname(join(out, file)), { recursive: true });
-    cpSync(file + '.ts', join(out, file + '.js'));
-  }
+  files.forEach(copy);
   writeFileSync(info, text);
 }
 `;
@@ -139,7 +140,7 @@
   write('package-lock.json', JSON.stringify(LOCK));
   write('tsconfig.json', '{}');
   write('compiler.txt', COMPILER);
-  write('platform/main.ts', 'main 1');
+  write('platform/start.cts', 'main 1');
   write('packages/part.ts', 'part 1');
   write('programs/package.json', '{"type":"commonjs"}');
   writeProgram('programs/npm', NPM);
