Keep the order of held events when their endpoint stays after all

What callers saw: a stream that misses events and is cut.

Cause: whether events are held is asked anew for each of them. When the notice of the endpoint was withdrawn, or its data centre taken back, the next events were written before those that were held.

Events that follow held ones are written behind them.

Evidence: 'held events come before later ones when the notice of their endpoint is withdrawn' failed before.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -295,9 +295,12 @@
   context: RequestsContext,
 ): Effects => {
   if (!isStreaming(forwarding, attempt)) return holdBytes(forwarding, attempt, bytes, context);
-  return isHeldForContinuation(forwarding, attempt, context)
-    ? holdStream(forwarding, attempt, bytes, context)
-    : continueStream(forwarding, attempt, bytes, context);
+  if (isHeldForContinuation(forwarding, attempt, context))
+    return holdStream(forwarding, attempt, bytes, context);
+  if (attempt.body.length === 0) return continueStream(forwarding, attempt, bytes, context);
+  // The hold ended without an event of this request, and what is held comes first.
+  appendChunk(attempt.body, bytes);
+  return continueHeldStream(forwarding, attempt, context);
 };
 
 const observeAnswer = (attempt: Attempt, context: RequestsContext): GatewayEffect => ({
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -293,6 +293,18 @@
   }
 });
 
+// Guards against events that overtake the held ones when the endpoint does not leave after all: the caller
+// would miss those that were held.
+test('held events come before later ones when the notice of their endpoint is withdrawn', (t) => {
+  const harness = createRequestsHarness();
+  const { continuation, order } = startLeavingStream(harness, '/memo/1');
+  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  t.is(findWritten(sendEvents(harness, order, 4, 5)), undefined);
+  const stays = { kind: 'known', leavingAt: null, dataCentreOutAt: null } as const;
+  harness.holders.set(order.head.endpointId, stays);
+  t.deepEqual(findWritten(sendEvents(harness, order, 6, 7)), Buffer.from(buildEvents(4, 7)));
+});
+
 // Guards against an answer that ends early and looks complete, and against a stream that is cut: a
 // leaving endpoint may end its answer in the middle of an event.
 test('a stream that ends inside an event while its events are held is continued', (t) => {
