Start no transfer beside a continuation of the same stream

What callers saw: nothing; a generation could run at a third engine, and nothing ended the second (TWICE).

Cause: the source is silent and leaves, its stream is being continued from the backup, and the backup leaves, too: the transfer's resumption was opened beside the continuation, and the end of the overlap named an attempt that was gone.

A transfer waits until one attempt is left.

Evidence: 'a stream is not transferred beside its continuation' failed before.

--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -10,6 +10,7 @@
 import type { RequestsHarness } from './requests.fixture.js';
 import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { AnswerHead } from '../types.js';
 
 /** Silence of a sound endpoint, which is no reason to end an answer. */
@@ -305,6 +306,21 @@
   t.deepEqual(findWritten(sendEvents(harness, order, 6, 7)), Buffer.from(buildEvents(4, 7)));
 });
 
+// Guards against a third run of a generation, which nothing ends: its endpoint and the one that continues
+// it leave while the continuation has not answered.
+test('a stream is not transferred beside its continuation', (t) => {
+  const harness = createRequestsHarness();
+  const { continuation, order } = startLeavingStream(harness, '/memo/1');
+  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  const backup = harness.endpoints.findIndex(({ id }) => id === continuation.head.endpointId);
+  harness.endpoints[backup] = {
+    ...(harness.endpoints[backup] as EndpointRecord),
+    phase: 'leaving',
+  };
+  const effects = [...postNotice(harness, order), ...harness.wait(100)];
+  t.is(findEffect(effects, 'start-transfer'), undefined);
+});
+
 // Guards against an answer that ends early and looks complete, and against a stream that is cut: a
 // leaving endpoint may end its answer in the middle of an event.
 test('a stream that ends inside an event while its events are held is continued', (t) => {
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -128,7 +128,11 @@
     .sort(comparePriority);
   if (waiting.length === 0) return [];
   const next = waiting.find(
-    ({ attempt }) => attempt.transfer?.phase === 'waiting' && attempt.transfer.dueAt <= now,
+    ({ attempt, forwarding }) =>
+      attempt.transfer?.phase === 'waiting' &&
+      attempt.transfer.dueAt <= now &&
+      // A continuation under way takes over or ends first; a transfer beside it would be a third run.
+      forwarding.attempts.size === 1,
   );
   if (
     next === undefined ||
