Charge a send that becomes a further one, and return what is not sent

What callers saw: two arrivals without a charge when a hedge is decided while the first attempt still connects, as after a pause; and, in an overload, retries that are denied though few are made.

Cause: whether a send needs a retry was asked at the decision only; and the charge of a retry was kept when its caller left while it waited or connected.

A permit without a charge takes one when another attempt was sent before it. A removed attempt that was not sent, and a removed request that waits, return their retries.

--- a/packages/decisions/forwarding/sendPermits.test.ts
+++ b/packages/decisions/forwarding/sendPermits.test.ts
@@ -85,8 +85,20 @@
 // Guards against streams that a restarted daemon loses with their engine, though their copies are sound.
 test('a daemon that has just started continues its own runs from their copies', (t) => {
   const budget = { ...buildBudget(), window: createBudgetWindow(0) };
-  t.is(admit(RETRY, {}, budget).kind, 'denied');
-  t.is(admit(FROM_COPY, {}, budget).kind, 'permitted');
+  t.is(admit(RETRY, {}, budget, 3_000).kind, 'denied');
+  t.is(admit(FROM_COPY, {}, budget, 3_000).kind, 'permitted');
+});
+
+// Guards against a hedge that costs nothing because the first attempt was not sent yet when it was decided.
+test('a send that needed no retry takes one when another attempt was sent before it', (t) => {
+  const spent = buildBudget(0);
+  const decision = admit({ kind: 'hedge' }, { sends: 0, possibleRuns: 0, openAttempts: 1 }, spent);
+  if (decision.kind === 'denied') {
+    t.fail(decision.reason);
+    return;
+  }
+  t.is(commitSend(decision.permit, 1, spent, 0), 'spent');
+  t.is(commitSend(decision.permit, 1, buildBudget(), 0), 'sent');
 });
 
 // Guards against retries of a paused daemon that arrive together with those of the next window.
@@ -97,7 +109,9 @@
   const fresh = Array.from({ length: 9 }, () => admit(RETRY, {}, budget, afterPause));
   t.true(fresh.every(({ kind }) => kind === 'permitted'));
   const outcomes = [...decided, ...fresh].map((decision) =>
-    decision.kind === 'permitted' ? commitSend(decision.permit, budget, afterPause) : 'denied',
+    decision.kind === 'permitted'
+      ? commitSend(decision.permit, HISTORY.sends, budget, afterPause)
+      : 'denied',
   );
   t.is(outcomes.filter((outcome) => outcome === 'sent').length, 9);
 });
--- a/packages/decisions/forwarding/sendPermits.ts
+++ b/packages/decisions/forwarding/sendPermits.ts
@@ -53,7 +53,7 @@
   readonly [ISSUED]: true;
   readonly purpose: SendPurpose;
   /** Retry that the send takes from the budget; null for one that needs none. */
-  readonly charge: RetryCharge | null;
+  charge: RetryCharge | null;
 }
 
 /** Why a request is not sent again. */
@@ -141,30 +141,43 @@
 
 /**
  * Moves the charge of a permit to the instant at which the request is sent: a daemon may have been
- * paused since it decided, and the budget counts what arrives.
+ * paused since it decided, and the budget counts what arrives. A send that needed no retry takes one
+ * if another attempt was sent meanwhile.
  *
  * @param permit - permit of the attempt that is about to be sent
+ * @param sends - number of times that the request has been sent
  * @param budget - retry budget of the service
  * @param now - current instant
  * @returns `spent` when the budget does not permit the send any more
  */
 export const commitSend = (
-  { charge, purpose }: SendPermit,
+  permit: SendPermit,
+  sends: number,
   { fleet, settings, window }: ServiceBudget,
   now: Millis,
 ): 'sent' | 'spent' => {
-  if (charge === null) return 'sent';
-  if (purpose !== 'transfer') return commitRetry(charge, window, settings, fleet, now);
-  releaseRetry(charge);
-  charge.bucket = recordRetry(window, settings, now).bucket;
-  return 'sent';
+  const { charge, purpose } = permit;
+  if (charge === null) {
+    if (sends === 0) return 'sent';
+    permit.charge = takeRetry(window, settings, 'another-run', fleet, now).charge;
+    return permit.charge === null ? 'spent' : 'sent';
+  }
+  if (purpose === 'transfer') {
+    releaseRetry(charge);
+    charge.bucket = recordRetry(window, settings, now).bucket;
+    return 'sent';
+  }
+  const outcome = commitRetry(charge, window, settings, fleet, now);
+  if (outcome === 'spent') permit.charge = null;
+  return outcome;
 };
 
 /**
  * Returns the charge of a permit whose request is not sent.
  *
- * @param permit - permit that is given up
+ * @param permit - permit that is given up; one without a charge is left as it is
  */
-export const releaseSend = ({ charge }: SendPermit): void => {
-  if (charge !== null) releaseRetry(charge);
+export const releaseSend = (permit: SendPermit): void => {
+  if (permit.charge !== null) releaseRetry(permit.charge);
+  permit.charge = null;
 };
--- a/packages/gateway/requests/answerMemory.ts
+++ b/packages/gateway/requests/answerMemory.ts
@@ -1,4 +1,5 @@
 import type { Attempt, Forwarding, RequestsState, WholeAnswer } from './types.js';
+import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 
 /** Updates what an attempt has received and the daemon still keeps. */
 const recordHeldBytes = (attempt: Attempt, heldBytes: number, state: RequestsState): void => {
@@ -17,7 +18,8 @@
 };
 
 /**
- * Removes an attempt from its request, with the bytes that it has received.
+ * Removes an attempt from its request, with the bytes that it has received. One that was not sent
+ * returns its retry to the budget.
  *
  * @param forwarding - request
  * @param attempt - attempt to remove
@@ -28,6 +30,7 @@
   attempt: Attempt,
   state: RequestsState,
 ): void => {
+  if (attempt.phase === 'connecting') releaseSend(attempt.permit);
   forwarding.attempts.delete(attempt.number);
   recordHeldBytes(attempt, 0, state);
 };
@@ -72,6 +75,7 @@
  */
 export const removeForwarding = (forwarding: Forwarding, state: RequestsState): void => {
   removeAttempts(forwarding, state);
+  if (forwarding.waitingPermit !== null) releaseSend(forwarding.waitingPermit);
   state.answerBytes -= forwarding.fallbackAnswer?.heldBytes ?? 0;
   forwarding.fallbackAnswer = null;
   state.inFlight.delete(forwarding.request.key);
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -530,3 +530,18 @@
   const late = harness.post({ to: 'requests', kind: 'deadline-reached', key: second.key });
   t.is(findEffect(late, 'refuse')?.failure.verdict, 'may-have-run');
 });
+
+// Guards against a retry budget that is used up by requests which never reached a second endpoint: their
+// callers left while they waited for a place, or were connecting.
+test('a retry that is given up before it is sent is returned to the budget', (t) => {
+  const harness = createRequestsHarness();
+  const refuseFirst = () => {
+    const order = getOrder(harness.sendRequest('/lookup/1'));
+    return { order, effects: startAnswer(harness, order, REFUSED) };
+  };
+  for (let count = 0; count < 60; count += 1) {
+    const { order, effects } = refuseFirst();
+    t.is(findAttemptOrders(effects).length, 1);
+    harness.post({ to: 'requests', kind: 'caller-disconnected', key: order.key });
+  }
+});
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -15,7 +15,6 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { EventDetails } from '../../core/events/types.js';
 import type { AttemptObservation } from '../../decisions/forwarding/endpointHealth.js';
-import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 import type { CrashProgress } from '../../decisions/quarantine/crashEvidence.js';
 import type { AttemptFailure, GatewayEffect } from '../events.js';
 
@@ -233,7 +232,6 @@
   context: RequestsContext,
 ): Effects => {
   const isNotRun = isProvablyNotRun(end, attempt);
-  if (attempt.phase === 'connecting') releaseSend(attempt.permit);
   removeAttempt(forwarding, attempt, context.state);
   if (!isNotRun) {
     forwarding.possibleRuns += 1;
--- a/packages/gateway/requests/sendAttempt.ts
+++ b/packages/gateway/requests/sendAttempt.ts
@@ -40,7 +40,7 @@
 ): Effects => {
   const now = context.inputs.clock.now();
   if (now >= forwarding.deadlineAt) return expireRequest(forwarding, context);
-  if (commitSend(attempt.permit, getBudget(forwarding, context), now) === 'spent')
+  if (commitSend(attempt.permit, forwarding.sends, getBudget(forwarding, context), now) === 'spent')
     return cancelUnsent(forwarding, attempt, context);
   // From here on the endpoint may run the request, whatever else waits in the event queue.
   attempt.phase = 'sent';
