Let continuations use the slack in proportion to the counted time

What callers saw: the budget is exceeded by continuations from copies when gateways restart in series (BUDGET).

Their part of the slack grows with the time that has been counted, up to the whole after a window.

--- a/packages/decisions/forwarding/fleetHistory.fixture.ts
+++ b/packages/decisions/forwarding/fleetHistory.fixture.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import type { FleetKnowledge } from './fleetShare.js';
 import { countRequest, createBudgetWindow, takeRetry } from './retryBudget.js';
-import type { BudgetWindow, RetryBudgetSettings } from './retryBudget.js';
+import type { BudgetWindow, RetryBudgetSettings, RetryClaim } from './retryBudget.js';
 import { assertNever } from '../../core/assertNever.js';
 
 /** What befalls a simulated fleet; daemons are named by their index. */
@@ -18,6 +18,7 @@
   /** Requests of each daemon in a tick. */
   readonly requests: readonly number[];
   readonly failingShare: number;
+  readonly claim: RetryClaim;
   readonly fault: FleetFault;
 }
 
@@ -84,7 +85,11 @@
   let partition = { from: 0, until: 0 };
   let tick = 0;
 
-  const serve = (daemon: SimulatedDaemon, arrived: number, failingShare: number): number => {
+  const serve = (
+    daemon: SimulatedDaemon,
+    arrived: number,
+    { claim, failingShare }: FleetPhase,
+  ): number => {
     const now = tick * TICK_MS;
     const daemonCount = Math.max(daemon.members.size + 1, daemon.reportedSize);
     const contact = daemon.members.size === 0 ? 'unknown' : 'known';
@@ -93,10 +98,7 @@
     for (let request = 0; request < arrived; request += 1) {
       countRequest(daemon.window, FLEET_BUDGET, now);
       const isFailing = (request + 0.5) / arrived < failingShare;
-      if (
-        isFailing &&
-        takeRetry(daemon.window, FLEET_BUDGET, 'another-run', fleet, now).charge !== null
-      )
+      if (isFailing && takeRetry(daemon.window, FLEET_BUDGET, claim, fleet, now).charge !== null)
         taken += 1;
     }
     return taken;
@@ -131,7 +133,7 @@
         arrivedNow += arrived;
         daemon.backlog += arrived;
         if (tick < daemon.pausedUntil) return;
-        retriesNow += serve(daemon, daemon.backlog, phase.failingShare);
+        retriesNow += serve(daemon, daemon.backlog, phase);
         daemon.backlog = 0;
       });
       requests.push(arrivedNow);
@@ -171,6 +173,7 @@
     ticks: fc.integer({ min: 1, max: 40 }),
     requests: fc.array(fc.nat(6), { minLength: FLEET_SIZE, maxLength: FLEET_SIZE }),
     failingShare: fc.constantFrom(0, 0.3, 1),
+    claim: fc.constantFrom('another-run' as const, 'same-run' as const),
     fault: fc.oneof(
       fc.record({ kind: fc.constant('restart' as const), daemon: daemonIndex }),
       fc.record({ kind: fc.constant('restart-all' as const) }),
--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -115,8 +115,8 @@
 };
 
 /**
- * What a retry is for. `same-run` continues a run that this life of the process began: there are no
- * more of them than requests of this life, so they may use the slack from its start.
+ * What a retry is for. `same-run` continues a run that this life of the process began, which is lost
+ * without it, so it may use the slack in proportion to the time that has been counted.
  */
 export type RetryClaim = 'another-run' | 'same-run';
 
@@ -128,8 +128,10 @@
   now: Millis,
 ): number => {
   const retentionMs = (windowMs * RETRY_BUCKETS) / BUDGET_BUCKETS;
-  const countedMs = claim === 'same-run' ? retentionMs : now - countedFrom;
-  return computeFleetShare(slack, retentionMs, countedMs, fleet);
+  const countedMs = now - countedFrom;
+  if (claim === 'another-run') return computeFleetShare(slack, retentionMs, countedMs, fleet);
+  const countedShare = Math.min(1, countedMs / retentionMs);
+  return countedShare * computeFleetShare(slack, retentionMs, retentionMs, fleet);
 };
 
 /**
