Bound the size of a fleet in a message, and the cold limit without one

Found by the review, by reading: one message with a huge size made the parts of all limits vanish for ten minutes, and a gateway that knows no other used the whole limit of a cold endpoint. A size is an integer of up to 10,000, and a gateway that cannot know its fleet sends one request at a time to a cold endpoint. No test of its own; the fuzz of messages covers shapes only.

--- a/packages/gateway/peers/peerCodec.ts
+++ b/packages/gateway/peers/peerCodec.ts
@@ -6,6 +6,12 @@
 const isCount = (value: unknown): boolean =>
   typeof value === 'number' && Math.abs(value) <= Number.MAX_SAFE_INTEGER;
 
+/** Bounds the size of a fleet, which makes the parts of its limits small for minutes. */
+const MAX_FLEET_SIZE = 10_000;
+
+const isFleetSize = (value: unknown): boolean =>
+  Number.isInteger(value) && Number(value) >= 1 && Number(value) <= MAX_FLEET_SIZE;
+
 const isLoadRow = (value: unknown): boolean =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
@@ -66,7 +72,7 @@
 type Fields = Readonly<Record<string, unknown>>;
 
 const hasContents = ({ crashes, fleet, leaving, limits, load, survivals }: Fields): boolean =>
-  (fleet === undefined || isCount(fleet)) &&
+  (fleet === undefined || isFleetSize(fleet)) &&
   isListOf(load, isLoadRow) &&
   isStringList(leaving) &&
   isListOf(crashes, isCrashRow) &&
--- a/packages/gateway/requests/requestLimits.ts
+++ b/packages/gateway/requests/requestLimits.ts
@@ -59,7 +59,8 @@
   if (coldHeadroom === null || service.coldPerSecond <= 0) return null;
   const totalLimit =
     service.coldPerSecond * inputs.getLiveSettings().coldOvershoot * COLD_LIMIT_UTILIZATION;
-  const ownLimit = Math.max(1, Math.floor(totalLimit / inputs.getFleet().daemons));
+  const { contact, daemons } = inputs.getFleet();
+  const ownLimit = contact === 'unknown' ? 1 : Math.max(1, Math.floor(totalLimit / daemons));
   return ownLimit - countSent(state, record.id, COLD_WINDOW_MS, now);
 };
 
