Answer requests that wait for memory when a draining daemon closes idle connections

Callers saw: around a planned stop (SIGTERM), a request on a kept connection that the gateway had read whole ended with a closed connection and without an answer (LOST). Cause: at the end of its drain the gateway closed its idle connections with server.close() and closeIdleConnections() of Node.js, which judge by the parser. Since the pacing holds a request back until memory is reserved for it (up to 150 ms), the parser of a kept connection has read nothing of a request that waits, and its connection counted as idle. The class: two owners of one fact; only the pacing knows whether a connection has something due. Change: the listener alone is closed, and the connection table closes connections that wait for a further request or whose last answer has been written; held bytes are never idle.

--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -24,6 +24,8 @@
 export interface TableMember {
   /** Closes the connection to make room for others. */
   readonly close: () => void;
+  /** Closes the connection if it waits for a further request, or its last answer has been written. */
+  readonly closeIdle: () => void;
   /** Drops the bytes behind the request whose answer is due, which becomes the last one. */
   readonly dropHeld: () => void;
 }
@@ -48,6 +50,8 @@
   readonly recordProgress: (entry: TableEntry) => void;
   /** Closes the connection whose body has been without new bytes for longest, if it is stalled. */
   readonly closeStalled: () => void;
+  /** Closes the connections that wait for a further request, or whose last answer has been written. */
+  readonly closeIdle: () => void;
   /**
    * Replaces the number of unparsed bytes of a connection. Others may be closed for it.
    *
@@ -209,6 +213,9 @@
       const entry = findOlder('receiving', STALLED_BODY_MS);
       if (entry !== null) close(entry);
     },
+    closeIdle: () => {
+      for (const { member } of [...entries.idle, ...entries.due]) member.closeIdle();
+    },
     count,
     countDue,
   };
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -135,6 +135,7 @@
   /** Memory that is reserved for the request whose answer is due. */
   let reservedBytes = 0;
   let due: ServerResponse | null = null;
+  let answered: 'none' | 'some' = 'none';
 
   // The phase also changes in functions that are called meanwhile, which the compiler cannot know.
   const getPhase = (): PacingPhase => phase;
@@ -183,7 +184,18 @@
     }
   };
 
-  const entry = table.add({ close: closeWithoutRoom, dropHeld });
+  const isIdle = (): boolean => {
+    if (held.countBytes() > 0) return false;
+    // The caller of a new connection may have sent its first request.
+    if (phase.kind === 'head') return partialBytes === 0 && answered === 'some';
+    return phase.kind === 'answer' && due?.writableEnded === true;
+  };
+
+  const closeIdle = (): void => {
+    if (isIdle()) stream.destroy();
+  };
+
+  const entry = table.add({ close: closeWithoutRoom, closeIdle, dropHeld });
   if (entry === null) return null;
 
   const findPlace = (): ConnectionPlace => {
@@ -344,6 +356,7 @@
 
   const finishAnswer = (): void => {
     due = null;
+    answered = 'some';
     releaseRequest();
     if (phase.kind === 'answer') startNext();
     updateRoom();
--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -70,6 +70,8 @@
   readonly closeServer: () => void;
   readonly memory: CallerMemory;
   readonly countConnections: () => number;
+  /** Counts the connections with a request that has no complete answer, parsed or not. */
+  readonly countDue: () => number;
   readonly openCaller: () => TestCaller;
   /** Resolves with the request once it has been read completely. */
   readonly waitForRequest: (id: string) => Promise<ForwardRequest>;
@@ -172,6 +174,19 @@
 export const formatRequest = (id: string, body = '', bodyBytes = body.length): string =>
   `POST /${id} HTTP/1.1\r\nHost: h\r\nContent-Length: ${bodyBytes.toString()}\r\n\r\n${body}`;
 
+/**
+ * Waits for a text on a connection, or for its end.
+ *
+ * @param caller - connection
+ * @param text - part of what is expected
+ * @returns whether the text came
+ */
+export const checkReceived = (
+  { waitForClose, waitForText }: TestCaller,
+  text: string,
+): Promise<boolean> =>
+  Promise.race([waitForText(text).then(() => true), waitForClose().then(() => false)]);
+
 /**
  * Creates a tracker of connections whose records nobody reads.
  *
@@ -186,7 +201,12 @@
     addCount: () => undefined,
   });
 
-const createMemory = (): CallerMemory => ({
+/**
+ * Creates accounts that no test fills.
+ *
+ * @returns the accounts
+ */
+export const createTestMemory = (): CallerMemory => ({
   bodies: createMemoryAccount(MAX_BUFFERED_BODY_BYTES),
   requests: createMemoryAccount(MAX_REQUEST_BYTES),
   connections: createMemoryAccount(MAX_CONNECTION_BYTES),
@@ -202,7 +222,7 @@
  */
 export const startCallerServer = async (
   t: ExecutionContext,
-  memory = createMemory(),
+  memory = createTestMemory(),
 ): Promise<CallerHarness> => {
   const clock = createVirtualClock(1_000);
   const events = createArrivals<RecordedEvent>();
@@ -287,6 +307,7 @@
     },
     memory,
     countConnections: callers.countConnections,
+    countDue: callers.countDue,
     openCaller: () => {
       const caller = openCaller(port);
       opened.push(caller);
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { ConnectionTracker } from './connections.js';
 import {
@@ -112,6 +113,14 @@
     });
   });
 
+/**
+ * Ends the listener alone. The HTTP server would also close each connection of which its parser has read
+ * nothing, and so requests that wait for memory or for their turn.
+ */
+const stopListening = (server: Server): void => {
+  NetServer.prototype.close.call(server);
+};
+
 const runOnceClosed = (response: ServerResponse, run: () => void): void => {
   if (response.closed) run();
   else response.once('close', run);
@@ -246,8 +255,8 @@
     closeIdle: () => {
       // Requests that have already arrived are read first, and refused.
       runAfterReads(() => {
-        server.close();
-        server.closeIdleConnections();
+        stopListening(server);
+        table.closeIdle();
         connections.recordClosed('drain-ended');
       });
     },
--- a/packages/gateway/frontend/idleConnections.test.ts
+++ b/packages/gateway/frontend/idleConnections.test.ts
@@ -1,6 +1,13 @@
 import test from 'ava';
-import { ANSWER_HEAD, formatRequest, startCallerServer } from './callerServer.fixture.js';
+import {
+  ANSWER_HEAD,
+  checkReceived,
+  createTestMemory,
+  formatRequest,
+  startCallerServer,
+} from './callerServer.fixture.js';
 import type { CallerHarness } from './callerServer.fixture.js';
+import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 
 const LONG_IDLE_MS = 15_000;
 const SHORT_IDLE_MS = 50;
@@ -17,6 +24,11 @@
   perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [Buffer.from(`answer to ${id}`)] });
 };
 
+const runTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
 /** Blocks the event loop, as a process without processor time does. */
 const holdLoop = (durationMs: number): void => {
   Atomics.wait(
@@ -80,3 +92,24 @@
   await caller.waitForText('answer to r-2');
   t.deepEqual(harness.events, []);
 });
+
+// Guards against a request that has been read whole and waits for memory, and is cut without an answer when
+// the daemon closes its idle connections (LOST): the parser of its connection has read nothing of it yet.
+test('a draining daemon answers a request that waits for memory', async (t) => {
+  const memory = { ...createTestMemory(), requests: createMemoryAccount(30_000) };
+  const harness = await startCallerServer(t, memory);
+  const kept = harness.openCaller();
+  kept.send(formatRequest('r-0'));
+  await sendAnswer(harness, 'r-0');
+  await kept.waitForText('answer to r-0');
+  const other = harness.openCaller();
+  other.send(formatRequest('r-1'));
+  await harness.waitForRequest('r-1');
+  kept.send(formatRequest('r-2'));
+  while (harness.countDue() < 2) await runTurn();
+  harness.perform({ kind: 'close-idle' });
+  for (let turn = 0; turn < 5; turn += 1) await runTurn();
+  await sendAnswer(harness, 'r-1');
+  await sendAnswer(harness, 'r-2');
+  t.true(await checkReceived(kept, 'answer to r-2'));
+});
--- a/packages/gateway/frontend/pipelining.test.ts
+++ b/packages/gateway/frontend/pipelining.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
-import { ANSWER_HEAD, formatRequest, startCallerServer } from './callerServer.fixture.js';
-import type { CallerHarness, TestCaller } from './callerServer.fixture.js';
+import {
+  ANSWER_HEAD,
+  checkReceived,
+  formatRequest,
+  startCallerServer,
+} from './callerServer.fixture.js';
+import type { CallerHarness } from './callerServer.fixture.js';
 
 const HEADER_TIMEOUT_MS = 30;
 
@@ -9,10 +14,6 @@
   perform({ kind: 'send-whole', key, head: ANSWER_HEAD, body: [Buffer.from(`answer to ${id}`)] });
 };
 
-/** Tells whether a caller receives a text before its connection is closed. */
-const checkReceived = ({ waitForClose, waitForText }: TestCaller, text: string): Promise<boolean> =>
-  Promise.race([waitForText(text).then(() => true), waitForClose().then(() => false)]);
-
 // Guards against the answer 400 to a sound request, which an endpoint runs, because bytes that are no
 // request follow it on its connection before it is answered.
 test('bytes that are no request do not end the request before them', async (t) => {
