Limit the work on callers' bytes in a turn of the event loop

The parser calls back for each chunk, and 64 KB hold 7,000 of them. Cause, as a class: work that strangers order has no limit in a turn, although the memory for it has one. Bytes that wait are counted as held, and their connections as due, so that neither is closed for others. Each listener has a queue of its own, so that readiness does not wait for callers.

--- a/packages/core/http/pacing/pacedListener.ts
+++ b/packages/core/http/pacing/pacedListener.ts
@@ -5,6 +5,7 @@
 import { wirePacing } from './pacedServer.js';
 import { createRequestRoom } from './requestRoom.js';
 import type { Clock } from '../../clock.js';
+import { createTurnQueue } from '../../loop/turnQueue.js';
 import { createMemoryAccount } from '../../memory/memoryAccount.js';
 import type { MemoryAccount } from '../../memory/types.js';
 
@@ -53,6 +54,7 @@
     clock,
     table,
     room: createRequestRoom(memory.requests, clock, table.closeStalled),
+    turns: createTurnQueue(),
     onConnection: () => undefined,
     onNoRoom: () => undefined,
   });
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { createChunkedEndFinder } from './chunkedEnds.js';
-import type { ChunkedEndFinder } from './chunkedEnds.js';
+import { findFraming, takeBody } from './bodyFraming.js';
+import type { BodyFraming } from './bodyFraming.js';
 import type { ConnectionPlace, ConnectionTable } from './connectionTable.js';
 import { REQUEST_OVERHEAD_BYTES, STRING_OVERHEAD_BYTES } from './constants.js';
 import { createHeldBytes } from './heldBytes.js';
@@ -13,6 +13,7 @@
 import { assertNever } from '../../assertNever.js';
 import type { Clock, Millis } from '../../clock.js';
 import { runAfterReads } from '../../loop/runAfterReads.js';
+import type { TurnQueue } from '../../loop/turnQueue.js';
 
 /** Arrival of a request whose head was handed on. */
 export interface PacedArrival {
@@ -38,6 +39,8 @@
   readonly clock: Clock;
   readonly table: ConnectionTable;
   readonly room: RequestRoom;
+  /** Steps in which the bytes of all connections of the listener are handed on. */
+  readonly turns: TurnQueue;
   /** Called before a connection is closed because there is no room for it. */
   readonly onNoRoom: (stream: PacedStream) => void;
 }
@@ -48,11 +51,6 @@
 /** Name and value of a header are two strings. */
 const STRINGS_PER_LINE = 2;
 
-/** How the end of a body is found. */
-type BodyFraming =
-  | { readonly kind: 'length'; leftBytes: number }
-  | { readonly kind: 'chunks'; readonly finder: ChunkedEndFinder };
-
 /** Where a connection is in the series of its requests. */
 type PacingPhase =
   /** Bytes of the next head are handed on as they arrive. */
@@ -76,29 +74,6 @@
 const BETWEEN: PacingPhase = { kind: 'between' };
 const ENDED: PacingPhase = { kind: 'ended' };
 
-/** Takes the framing of a body from the head as the parser has read it. */
-const findFraming = ({ headers }: IncomingMessage): BodyFraming =>
-  headers['transfer-encoding'] === undefined
-    ? { kind: 'length', leftBytes: Number(headers['content-length'] ?? 0) }
-    : { kind: 'chunks', finder: createChunkedEndFinder() };
-
-/** Counts the bytes of a chunk that belong to the body, and records that they are handed on. */
-const takeBody = (framing: BodyFraming, bytes: Buffer): number => {
-  switch (framing.kind) {
-    case 'length': {
-      const count = Math.min(framing.leftBytes, bytes.length);
-      framing.leftBytes -= count;
-      return count;
-    }
-    case 'chunks': {
-      const end = framing.finder.find(bytes);
-      return end === -1 ? bytes.length : end;
-    }
-    default:
-      return assertNever(framing);
-  }
-};
-
 /** Estimates what the parser makes of a head, or of a part of one. */
 const estimateHead = (bytes: number, lines: number): number =>
   bytes + lines * STRINGS_PER_LINE * STRING_OVERHEAD_BYTES;
@@ -117,7 +92,7 @@
   socket: Socket,
   options: PacingOptions,
 ): RequestPacing | null => {
-  const { clock, room, table } = options;
+  const { clock, room, table, turns } = options;
   const held = createHeldBytes();
   const finder = createEmptyLineFinder();
   const stream = createPacedStream(socket, held.countBytes);
@@ -127,7 +102,8 @@
   let partialLines = 0;
   /** Whether that is line ends only, which the parser ignores before a request. */
   let partialText: 'blank' | 'some' = 'blank';
-  let handing: 'no' | 'yes' = 'no';
+  /** Whether bytes wait for a turn in which they are handed on. */
+  let turn: 'none' | 'waiting' = 'none';
   let reading: 'on' | 'paused' = 'on';
   /** Whether the answer that is due is the last one, since what followed it was dropped. */
   let order: 'continues' | 'last' = 'continues';
@@ -201,7 +177,9 @@
   const findPlace = (): ConnectionPlace => {
     switch (phase.kind) {
       case 'head':
-        return partialBytes > 0 ? 'reading' : 'idle';
+        if (partialBytes > 0) return 'reading';
+        // The caller has sent its request, and this daemon is late.
+        return turn === 'waiting' && held.countBytes() > 0 ? 'due' : 'idle';
       case 'body':
         return 'receiving';
       case 'asking':
@@ -328,12 +306,19 @@
     }
   };
 
+  /** Hands on a head in one step once it has memory, or a part of a body. */
+  const runStep = (): void => {
+    turn = 'none';
+    let result = handOnNext();
+    while (result === 'handed-on' && phase.kind === 'asking') result = handOnNext();
+    if (result === 'handed-on') handOn();
+    else updateRoom();
+  };
+
   const handOn = (): void => {
-    if (handing === 'yes') return;
-    handing = 'yes';
-    while (handOnNext() === 'handed-on');
-    handing = 'no';
-    updateRoom();
+    turn = 'waiting';
+    turns.run(runStep);
+    if (turn === 'waiting') updateRoom();
   };
 
   const startNext = (): void => {
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -19,6 +19,7 @@
 import { createRequestBodies } from '../../core/http/requestBodies.js';
 import { openListener } from '../../core/openAddress.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
+import { createTurnQueue } from '../../core/loop/turnQueue.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { MemoryAccount } from '../../core/memory/types.js';
 import { createFailure } from '../../core/verdict.js';
@@ -225,6 +226,7 @@
     clock,
     table,
     room: createRequestRoom(memory.requests, clock, table.closeStalled),
+    turns: createTurnQueue(),
     onConnection: connections.trackConnection,
     onNoRoom: (stream) => {
       connections.recordSocketCause(stream, 'no-room');
--- a/packages/gateway/frontend/statusServer.ts
+++ b/packages/gateway/frontend/statusServer.ts
@@ -4,6 +4,7 @@
 import { wirePacing } from '../../core/http/pacing/pacedServer.js';
 import { createRequestRoom } from '../../core/http/pacing/requestRoom.js';
 import type { Clock } from '../../core/clock.js';
+import { createTurnQueue } from '../../core/loop/turnQueue.js';
 import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import { openListener } from '../../core/openAddress.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
@@ -72,6 +73,7 @@
     clock,
     table,
     room: createRequestRoom(openAccount(), clock, table.closeStalled),
+    turns: createTurnQueue(),
     onConnection: () => undefined,
     onNoRoom: () => undefined,
   });
