Let the pacing close the idle connections of every server

Change: wirePacing replaces closeIdleConnections of each server by that of the connection table, which the server calls itself when it is closed. The special way to end the gateway's listener is gone again.

--- a/packages/core/http/pacing/pacedServer.ts
+++ b/packages/core/http/pacing/pacedServer.ts
@@ -27,6 +27,9 @@
  */
 export const wirePacing = (server: Server, options: PacedServerOptions): PacedServer => {
   const pacings = new WeakMap<object, RequestPacing>();
+  // Also called when the server is closed. To its parser a connection is idle whose request waits for
+  // memory or for a turn.
+  server.closeIdleConnections = options.table.closeIdle;
   // The server would drop further ones without a word, and the framing of a body may be among them. The
   // memory for the heads limits their number.
   server.maxHeadersCount = 0;
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { ConnectionTracker } from './connections.js';
 import {
@@ -114,14 +113,6 @@
     });
   });
 
-/**
- * Ends the listener alone. The HTTP server would also close each connection of which its parser has read
- * nothing, and so requests that wait for memory or for their turn.
- */
-const stopListening = (server: Server): void => {
-  NetServer.prototype.close.call(server);
-};
-
 const runOnceClosed = (response: ServerResponse, run: () => void): void => {
   if (response.closed) run();
   else response.once('close', run);
@@ -257,8 +248,7 @@
     closeIdle: () => {
       // Requests that have already arrived are read first, and refused.
       runAfterReads(() => {
-        stopListening(server);
-        table.closeIdle();
+        server.close();
         connections.recordClosed('drain-ended');
       });
     },
