--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -1,68 +1,31 @@
-import {
-  INITIAL_LAST_EVENT_ID,
-  MAX_CAPACITY_WAIT_SHARE,
-  HEDGE_DELAY_SHARE,
-  PLACEMENT_RETRY_MS,
-  MAX_PLACEMENT_WAIT_SHARE,
-} from './constants.js';
+import { HEDGE_DELAY_SHARE, INITIAL_LAST_EVENT_ID } from './constants.js';
 import { removeAttempts } from './answerMemory.js';
 import { computeStallTimeout } from './stallTimeout.js';
-import { applyRequestLimits, recordSent } from './requestLimits.js';
-import { checkRequestContent } from './content.js';
-import { refuseOverloaded, refuseQuarantined, refuseResting, refuseUnplaced } from './unplaced.js';
+import { buildCriteria, listCandidates } from './placementInputs.js';
+import { recordSent } from './requestLimits.js';
 import { NO_LOAD } from './load.js';
 import { releaseCopy } from './generationCopy.js';
 import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import { waitForTransfer } from './transferTurns.js';
-import type { Attempt, Effects, Forwarding, RequestsContext, RequestsInputs } from './types.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { createByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { EndpointId } from '../../core/ids.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
   hasCapacity,
-  isOverloaded,
   placeBackup,
   placeAttempt,
   placeTransfer,
 } from '../../decisions/forwarding/placeAttempt.js';
-import type {
-  Candidate,
-  EndpointLoad,
-  PlacementCriteria,
-} from '../../decisions/forwarding/placeAttempt.js';
+import type { Candidate, EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import { isResumptionAllowed } from '../../decisions/forwarding/rest.js';
-import { findEarliestReturn } from '../../decisions/forwarding/restingService.js';
 import { isResumableAt } from '../../decisions/forwarding/resumption.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
 import type { CopyReference } from '../types.js';
 
-const listCandidates = (
-  forwarding: Forwarding,
-  { state, inputs }: RequestsContext,
-): readonly Candidate[] =>
-  applyRequestLimits(
-    state,
-    inputs.listEndpoints(forwarding.service.name),
-    forwarding.service,
-    inputs,
-    inputs.clock.now(),
-  );
-
-const buildCriteria = (
-  { request, route, service, tried }: Forwarding,
-  { clock, dataCentre }: RequestsInputs,
-): PlacementCriteria => ({
-  service,
-  demand: request.demand,
-  targetMs: route.targetMs,
-  homeDataCentre: dataCentre,
-  tried,
-  now: clock.now(),
-});
-
 /**
  * Chooses the endpoint of the backup. Only a generation that cannot be restarted needs one; a
  * resumable stream continues after its last event id at any endpoint.
@@ -226,66 +189,6 @@
 export const cancelAttempts = (forwarding: Forwarding, { state }: RequestsContext): Effects =>
   removeAttempts(forwarding, state).flatMap((attempt) => cancelAttempt(forwarding, attempt));
 
-/** Lets a request wait for an endpoint, or refuses it if the wait is too long or cannot help. */
-const waitOrRefuse = (
-  forwarding: Forwarding,
-  candidates: readonly Candidate[],
-  retryPlacement: GatewayEffect,
-  context: RequestsContext,
-): Effects => {
-  const { request, route } = forwarding;
-  const waitUntil = request.receivedAt + route.targetMs * MAX_PLACEMENT_WAIT_SHARE;
-  const returnAt = findEarliestReturn(candidates);
-  // Only the end of their rest helps, so a request that cannot wait for it is refused at once.
-  if (returnAt !== null && returnAt > waitUntil)
-    return refuseResting(forwarding, returnAt, context);
-  if (context.inputs.clock.now() < waitUntil) return [retryPlacement];
-  const isLimited = candidates.some(
-    ({ limitHeadroom, restGate }) => limitHeadroom !== null || restGate !== null,
-  );
-  if (isLimited) return refuseOverloaded(forwarding, context);
-  return refuseUnplaced(forwarding, 'no endpoint of the service is available', context);
-};
-
-/**
- * Places a request at an endpoint, schedules another try, or refuses it after the longest permitted
- * wait.
- *
- * @param forwarding - request without a running attempt
- * @param permit - permission to send it, which it keeps while it waits
- * @param context - state and inputs
- * @returns effects
- */
-export const placeRequest = (
-  forwarding: Forwarding,
-  permit: SendPermit,
-  context: RequestsContext,
-): Effects => {
-  const { inputs } = context;
-  const now = inputs.clock.now();
-  forwarding.waitingPermit = permit;
-  const content = checkRequestContent(forwarding.request, inputs);
-  if (content.kind === 'quarantined') return refuseQuarantined(forwarding, content, context);
-  const candidates = listCandidates(forwarding, context);
-  const criteria = buildCriteria(forwarding, inputs);
-  const candidate = placeAttempt(candidates, criteria, inputs.random);
-  const { request, route } = forwarding;
-  const waitedMs = now - request.receivedAt;
-  const event = { to: 'requests', kind: 'placement-due', key: request.key } as const;
-  const retryPlacement: GatewayEffect = { kind: 'schedule', delayMs: PLACEMENT_RETRY_MS, event };
-  if (candidate !== null) {
-    // A running request may end soon and free capacity, whereas a preemption would delay one.
-    const isWaitingForCapacity =
-      !hasCapacity(candidate, criteria) && waitedMs < route.targetMs * MAX_CAPACITY_WAIT_SHARE;
-    if (isWaitingForCapacity) return [retryPlacement];
-    if (isOverloaded(candidate, criteria)) return refuseOverloaded(forwarding, context);
-    const { load, record } = candidate;
-    const plan = { endpoint: record, load, candidates, copy: null };
-    return openAttempt(forwarding, plan, permit, context);
-  }
-  return waitOrRefuse(forwarding, candidates, retryPlacement, context);
-};
-
 /**
  * Reports whether a generation may resume at the endpoint that holds its copy.
  *
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,6 +1,7 @@
 import { continueAnswer, finishAnswer, releaseHeldStream, startAnswer } from './answering.js';
 import { removeForwarding } from './answerMemory.js';
-import { cancelAttempts, placeRequest } from './attempts.js';
+import { cancelAttempts } from './attempts.js';
+import { placeRequest } from './placeRequest.js';
 import {
   DRAIN_ACCEPT_MS,
   DRAIN_RETRY_AFTER_MS,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -3,10 +3,10 @@
   cancelAttempts,
   openAttempt,
   openContinuation,
-  placeRequest,
   planFromCopy,
   planFurtherAttempt,
 } from './attempts.js';
+import { placeRequest } from './placeRequest.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
--- a/packages/gateway/requests/statedRest.test.ts
+++ b/packages/gateway/requests/statedRest.test.ts
@@ -8,7 +8,7 @@
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { addRest, REST_RETURN_MS } from '../../decisions/forwarding/rest.js';
-import { SWEEP_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
+import { MEMO_ROUTE, SWEEP_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
 import type { AttemptOrder, GatewayEffect } from '../events.js';
 
@@ -202,6 +202,20 @@
   t.is(findAttemptOrders(harness.wait(SWEEP_ROUTE.targetMs)).length, 1);
 });
 
+// Guards against a caller who waits for its deadline, and then for a 504 that promises nothing, although
+// its request can have no endpoint before (issue 42).
+test('a request whose deadline is shorter than its placement wait is refused before it', (t) => {
+  const harness = createRequestsHarness();
+  harness.endpoints.splice(0);
+  const callerTimeoutMs = MEMO_ROUTE.targetMs * 0.05;
+  const effects = [
+    ...harness.sendRequest('/memo/1', { callerTimeoutMs }),
+    ...harness.wait(callerTimeoutMs - 1),
+  ];
+  t.is(findEffect(effects, 'refuse')?.failure.verdict, 'not-run');
+  t.is(harness.countOpen(), 0);
+});
+
 // Guards against all requests that come in the first moments after a rest reaching the endpoint.
 test('a service whose endpoints return gets few requests at first', (t) => {
   const harness = createRequestsHarness();
