Keep retries for generations that may have to return to the source of their transfer

Its engine had left with a notice and was still there, the target of its transfer refused it, and the way back was denied. Cause: between the order to stop the source and the refusal of the target, plain retries took the last of the retry budget, although the transfer had taken its part before. The budget had no order: what came first was paid first, whatever would be lost. Change: a plain retry or a hedge has to leave one retry for each generation of its service that is being transferred, until the target has begun to answer. Ways back and transfers are admitted as before, and the budget as a whole is the same.

--- a/packages/decisions/forwarding/retryBudget.ts
+++ b/packages/decisions/forwarding/retryBudget.ts
@@ -47,7 +47,7 @@
 /** Retries of the window, and what the current one lacks. */
 interface WindowUse {
   readonly retries: number;
-  /** Part of one more retry that no window permits, from 0 to 1. */
+  /** What one more retry lacks in the window with the least room; negative if there is room for more. */
   readonly deficit: number;
 }
 
@@ -61,7 +61,7 @@
   const firstOfWindow = current - BUDGET_BUCKETS + 1;
   let retries = 0;
   let charged = 0;
-  let deficit = 0;
+  let deficit = -Infinity;
   for (let from = current; from > current - RETRY_BUCKETS; from -= 1) {
     const bucket = window.buckets.find(({ number }) => number === from);
     retries += bucket?.retries ?? 0;
@@ -71,7 +71,7 @@
     const allowed = BUDGET_UTILIZATION * (basis * settings.ratio + slack);
     deficit = Math.max(deficit, charged + 1 - allowed);
   }
-  return { retries, deficit: Math.min(1, deficit) };
+  return { retries, deficit };
 };
 
 /** Accrues the credit and checks the windows for one more retry. */
@@ -89,6 +89,10 @@
   return checkWindows(window, settings, slack, number);
 };
 
+/** Computes what the credit has to pay for some retries, each of which costs one of it at most. */
+const computeCost = (deficit: number, count: number): number =>
+  Math.min(count, Math.max(0, deficit + count - 1));
+
 /** Counts a retry now; the credit pays what the windows do not permit, as far as it can. */
 const addCharge = (
   window: BudgetWindow,
@@ -97,7 +101,7 @@
   now: Millis,
 ): RetryCharge => {
   const bucket = findBucket(window, settings, now);
-  const credited = Math.min(deficit, window.credit.retries);
+  const credited = Math.min(computeCost(deficit, 1), window.credit.retries);
   window.credit.retries -= credited;
   bucket.retries += 1;
   bucket.credited += credited;
@@ -114,6 +118,7 @@
  * @param settings - limits of the budget
  * @param fleet - what this daemon knows of the daemons that share the slack
  * @param now - current instant
+ * @param heldBack - retries that have to remain after it
  * @returns the decision
  */
 export const takeRetry = (
@@ -121,11 +126,12 @@
   settings: RetryBudgetSettings,
   fleet: FleetKnowledge,
   now: Millis,
+  heldBack = 0,
 ): RetryDecision => {
   const { deficit, retries } = checkBudget(window, settings, fleet, now);
   const { number } = findBucket(window, settings, now);
   const requests = sumRequests(window, number - BUDGET_BUCKETS + 1, number + 1);
-  const isSpent = deficit > window.credit.retries;
+  const isSpent = computeCost(deficit, 1 + heldBack) > window.credit.retries;
   const charge = isSpent ? null : addCharge(window, settings, deficit, now);
   return { charge, requests, retries };
 };
--- a/packages/decisions/forwarding/sendPermits.test.ts
+++ b/packages/decisions/forwarding/sendPermits.test.ts
@@ -14,6 +14,7 @@
   window: createBudgetWindow(-60_000),
   settings: { ratio: 0.2, slack, windowMs: 10_000 },
   fleet: { daemons: 1, contact: 'known' },
+  heldBack: 0,
 });
 
 /** A request of which one attempt ran. */
@@ -134,3 +135,16 @@
   if (first.kind === 'permitted') releaseSend(first.permit);
   t.is(admit(RETRY, {}, budget).kind, 'permitted');
 });
+
+// Guards against a generation that is lost because a plain retry took the last of the budget while its
+// transfer was under way: the way back to its source is denied when the target refuses it.
+test('plain retries and hedges leave room for generations that may have to return', (t) => {
+  const budget = { ...buildBudget(), heldBack: 2 };
+  const kinds: readonly FurtherSend[] = [RETRY, { kind: 'hedge' }];
+  for (let retries = 0; retries < FREE_RETRIES - 2; retries += 1)
+    t.is(admit(RETRY, {}, budget).kind, 'permitted');
+  for (const send of kinds) t.is(admit(send, {}, budget).kind, 'denied', send.kind);
+  t.is(admit(FROM_COPY, {}, budget).kind, 'permitted');
+  t.is(admit({ kind: 'transfer' }, {}, budget).kind, 'permitted');
+  t.is(admit(FROM_COPY, {}, budget).kind, 'denied');
+});
--- a/packages/decisions/forwarding/sendPermits.ts
+++ b/packages/decisions/forwarding/sendPermits.ts
@@ -37,6 +37,8 @@
   readonly window: BudgetWindow;
   readonly settings: RetryBudgetSettings;
   readonly fleet: FleetKnowledge;
+  /** Retries that are kept for generations that may have to return to the source of their transfer. */
+  readonly heldBack: number;
 }
 
 const ISSUED = Symbol('issued');
@@ -94,6 +96,20 @@
   }
 };
 
+/** A generation is lost with its transfer; what is sent instead of a request that failed costs less. */
+const countHeldBack = (send: FurtherSend, { heldBack }: ServiceBudget): number => {
+  switch (send.kind) {
+    case 'retry':
+    case 'hedge':
+      return heldBack;
+    case 'continuation':
+    case 'transfer':
+      return 0;
+    default:
+      return assertNever(send);
+  }
+};
+
 /**
  * Permits the first send of a request.
  *
@@ -115,15 +131,16 @@
 export const admitFurtherSend = (
   send: FurtherSend,
   history: SendHistory,
-  { fleet, settings, window }: ServiceBudget,
+  serviceBudget: ServiceBudget,
   now: Millis,
 ): SendDecision => {
+  const { fleet, settings, window } = serviceBudget;
   const reason = findDenial(send, history);
   if (reason !== null) return { kind: 'denied', reason, budget: null };
   const { kind: purpose } = send;
   if (history.sends === 0)
     return { kind: 'permitted', permit: issuePermit(purpose, null), budget: null };
-  const budget = takeRetry(window, settings, fleet, now);
+  const budget = takeRetry(window, settings, fleet, now, countHeldBack(send, serviceBudget));
   return budget.charge === null
     ? { kind: 'denied', reason: 'budget-spent', budget }
     : { kind: 'permitted', permit: issuePermit(purpose, budget.charge), budget };
--- a/packages/gateway/requests/sendDecisions.ts
+++ b/packages/gateway/requests/sendDecisions.ts
@@ -1,4 +1,4 @@
-import type { Effects, Forwarding, RequestsContext } from './types.js';
+import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { createBudgetWindow } from '../../decisions/forwarding/budgetWindow.js';
 import type { RetryDecision } from '../../decisions/forwarding/retryBudget.js';
 import { admitFurtherSend } from '../../decisions/forwarding/sendPermits.js';
@@ -23,7 +23,22 @@
 ): ServiceBudget => {
   const window = state.budgets.get(service.name) ?? createBudgetWindow(state.startedAt);
   state.budgets.set(service.name, window);
-  return { window, settings: inputs.getLiveSettings().budget, fleet: inputs.getFleet() };
+  const { budget: settings } = inputs.getLiveSettings();
+  return { window, settings, fleet: inputs.getFleet(), heldBack: 0 };
+};
+
+/** Reports whether the source of a transfer may have to take the generation back. */
+const isReturnable = ({ fallback, phase, transfer }: Attempt): boolean =>
+  (transfer !== null && transfer.phase !== 'waiting') ||
+  (fallback !== null && phase !== 'answering');
+
+const countReturns = ({ service }: Forwarding, { state }: RequestsContext): number => {
+  let count = 0;
+  for (const forwarding of state.inFlight.values()) {
+    if (forwarding.service.name !== service.name) continue;
+    for (const attempt of forwarding.attempts.values()) if (isReturnable(attempt)) count += 1;
+  }
+  return count;
 };
 
 const getHistory = ({
@@ -86,7 +101,8 @@
   send: FurtherSend,
   context: RequestsContext,
 ): RecordedDecision => {
-  const budget = getBudget(forwarding, context);
+  const heldBack = countReturns(forwarding, context);
+  const budget = { ...getBudget(forwarding, context), heldBack };
   const now = context.inputs.clock.now();
   const decision = admitFurtherSend(send, getHistory(forwarding), budget, now);
   const effects =
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -443,6 +443,29 @@
   t.truthy(findEffect(effects, 'break-answer'));
 });
 
+// Guards against a generation that is lost because plain retries took the last of the budget between the
+// order to stop its source and the refusal of its target (KNOWN-RED 9, soak 43026 and 43028).
+test('a generation that its target refuses resumes at its source beside plain retries', (t) => {
+  const harness = createRequestsHarness();
+  const [order] = startMemos(harness, 1) as [AttemptOrder];
+  postLeaving(harness);
+  endStep(harness, order, COPIED);
+  const refuse = (refused: AttemptOrder, requestId: string) => {
+    const refusal = { status: 503, signature: 'unsigned', proof: 'not-run' } as const;
+    const head = { ...SIGNED_HEAD, ...refusal, requestId };
+    harness.post({ ...toEvent(refused), kind: 'attempt-connected' });
+    return harness.post({ ...toEvent(refused), kind: 'answer-started', head });
+  };
+  for (let index = 0; index < MORE_TRIES_THAN_RETRIES; index += 1) {
+    const id = `other-${index.toString()}`;
+    const [other] = findAttemptOrders(harness.sendRequest('/memo/1', { id }));
+    if (other !== undefined) refuse(other, id);
+  }
+  const [next] = findAttemptOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
+  const [back] = findAttemptOrders(refuse(next, 'r-0'));
+  t.deepEqual(back?.address, order.address);
+});
+
 // Guards against generations that are lost with their engine because another one ended during its own
 // transfer: the next transfer was never started, and the peers waited for it. The copy of the ended
 // generation would keep its memory.
