Send nothing for callers that have left while a daemon was late

Cause: after a pause the operating system reports all connections at once, in no particular order. The report of a connection to an endpoint is what sends its request, and it was handled before the ends of the callers' connections were read. Change: while the daemon counts as late, the endpoint client reports a connection after the sockets have been read. Its inputs are one options object now.

--- a/packages/gateway/endpoints/endpointClient.fixture.ts
+++ b/packages/gateway/endpoints/endpointClient.fixture.ts
@@ -74,10 +74,20 @@
  * Creates a client that posts what the endpoints say of themselves, too.
  *
  * @param post - receives the events
+ * @param lateness - whether the daemon was busy or paused just now
  * @returns the client
  */
-export const createStatedClient = (post: (event: AttemptEvent) => void): EndpointClient =>
-  createEndpointClient(CODEC, createSystemClock(), post, () => undefined);
+export const createStatedClient = (
+  post: (event: AttemptEvent) => void,
+  lateness: 'late' | 'in-time' = 'in-time',
+): EndpointClient =>
+  createEndpointClient({
+    codec: CODEC,
+    clock: createSystemClock(),
+    isLate: () => lateness === 'late',
+    post,
+    recordReceived: () => undefined,
+  });
 
 /**
  * Creates a client whose received bytes nobody counts.
--- a/packages/gateway/endpoints/endpointClient.test.ts
+++ b/packages/gateway/endpoints/endpointClient.test.ts
@@ -1,5 +1,7 @@
-import { createServer } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { buildOrder, createStatedClient, createTestClient } from './endpointClient.fixture.js';
@@ -237,3 +239,40 @@
   ]);
   t.false((await listKinds(t, 'HTTP/1.1 421 No\r\n\r\n')).includes('endpoint-answered'));
 });
+
+// Guards against requests that reach an endpoint over half a second after their callers have left (GONE,
+// KNOWN-RED 10, soak 43024): after a pause, the connection to the endpoint was reported before the end of
+// the caller's connection was read, and the request was sent at once.
+test('a late daemon sends nothing for a caller whose end has arrived', async (t) => {
+  const arrived: Buffer[] = [];
+  const endpoint = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => arrived.push(bytes));
+  });
+  const callers = createServer();
+  for (const server of [endpoint, callers]) {
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => server.close());
+  }
+  const caller = connect((callers.address() as AddressInfo).port, '127.0.0.1');
+  const [accepted] = (await once(callers, 'connection')) as [Socket];
+  t.teardown(() => accepted.destroy());
+  const client = createStatedClient((event) => {
+    if (event.to === 'requests' && event.kind === 'attempt-connected')
+      client.send(event.key, event.attempt, 1_000);
+  }, 'late');
+  accepted.on('close', () => {
+    client.cancel(1, 1);
+  });
+  accepted.resume();
+  client.open(buildOrder((endpoint.address() as AddressInfo).port));
+  await new Promise(process.nextTick);
+  caller.destroy();
+  await new Promise(process.nextTick);
+  holdLoop(50);
+  await once(accepted, 'close');
+  await sleep(50);
+  t.deepEqual(arrived, []);
+});
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -31,6 +31,19 @@
   readonly close: () => void;
 }
 
+export interface EndpointClientOptions {
+  /** Encodes the heads of requests and decodes the heads of answers. */
+  readonly codec: HeadCodec;
+  /** Clock of the times at which requests are sent. */
+  readonly clock: Clock;
+  /** Whether the daemon was busy or paused just now, so that callers may have left meanwhile. */
+  readonly isLate: () => boolean;
+  /** Receives the events of the attempts, and what the endpoints say of themselves. */
+  readonly post: (event: AttemptEvent) => void;
+  /** Receives the number of bytes that were read. */
+  readonly recordReceived: (bytes: number) => void;
+}
+
 interface RunningAttempt {
   readonly socket: Socket;
   readonly send: (leftMs: Millis) => void;
@@ -87,18 +100,11 @@
  * Creates the client of the endpoints. Connections are not reused, so that a late or duplicate
  * answer is never mistaken for the answer to the next request.
  *
- * @param codec - encodes the heads of requests and decodes the heads of answers
- * @param clock - clock of the times at which requests are sent
- * @param post - receives the events of the attempts, and what the endpoints say of themselves
- * @param recordReceived - receives the number of bytes that were read
+ * @param options - codec, clock and receivers of the events
  * @returns the client
  */
-export const createEndpointClient = (
-  codec: HeadCodec,
-  clock: Clock,
-  post: (event: AttemptEvent) => void,
-  recordReceived: (bytes: number) => void,
-): EndpointClient => {
+export const createEndpointClient = (options: EndpointClientOptions): EndpointClient => {
+  const { clock, codec, isLate, post, recordReceived } = options;
   const running = new Map<string, RunningAttempt>();
   const probes = new Map<string, Promise<ProbeResult>>();
 
@@ -215,7 +221,12 @@
       if (phase !== 'connecting') return;
       phase = 'connected';
       socket.on('data', endEarlyAnswer);
-      post({ ...eventBase, kind: 'attempt-connected' });
+      const postConnected = (): void => {
+        if (phase === 'connected') post({ ...eventBase, kind: 'attempt-connected' });
+      };
+      // The end of the caller's connection may be read after this one is reported.
+      if (isLate()) runAfterReads(postConnected);
+      else postConnected();
     });
     socket.on('error', fail);
     socket.on('close', () => {
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -164,15 +164,16 @@
   });
 
 const buildEndpoints = (cradle: GatewayCradle): EndpointClient =>
-  createEndpointClient(
-    cradle.ports.codec,
-    cradle.clock,
-    (event) => {
+  createEndpointClient({
+    codec: cradle.ports.codec,
+    clock: cradle.clock,
+    isLate: () => cradle.daemon.loop.isLate(),
+    post: (event) => {
       if (event.to === 'requests' || hasNews(event, cradle.states.statements))
         cradle.daemon.loop.post(event);
     },
-    cradle.ports.memory.recordReceived,
-  );
+    recordReceived: cradle.ports.memory.recordReceived,
+  });
 
 const buildPeers = (cradle: GatewayCradle): PeerSocket =>
   createPeerSocket(
