Count no bytes of a request that is being handed on

The metrics page of the entry daemon showed 433 unparsed bytes of its own request: since the work of a turn is limited, the account was updated between the question for memory and the parsing of a head, and not after the head had been taken. Change: a head that got its memory at once is handed on in the same step without an update between, and the account is updated after the bytes were taken and before they are parsed.

--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -201,10 +201,12 @@
     else socket.pause();
   };
 
+  const updateUnparsed = (): 'reserved' | 'full' =>
+    table.reserveUnparsed(entry, estimateHead(partialBytes, partialLines) + held.getMemory());
+
   const updateRoom = (): void => {
     table.recordPlace(entry, findPlace());
-    const unparsed = estimateHead(partialBytes, partialLines) + held.getMemory();
-    if (table.reserveUnparsed(entry, unparsed) === 'full') dropHeld();
+    if (updateUnparsed() === 'full') dropHeld();
     updateReading();
   };
 
@@ -232,7 +234,10 @@
     clearPartial();
     // The server reports the request while it parses. Without one, it ends the connection.
     phase = ENDED;
-    handOnBytes(held.take(end));
+    const bytes = held.take(end);
+    // A page about the memory of the daemon does not count its own request.
+    updateUnparsed();
+    handOnBytes(bytes);
     if (getPhase().kind === 'ended') releaseRequest();
   };
 
@@ -241,11 +246,13 @@
     const memory = REQUEST_OVERHEAD_BYTES + estimateHead(partialBytes + end, lines);
     const asking: AskingPhase = { kind: 'asking', end, result: null, cancel: () => undefined };
     phase = asking;
+    let settled: 'at-once' | 'later' = 'at-once';
     asking.cancel = room.ask(memory, (result) => {
       asking.result = result;
       if (result === 'reserved') reservedBytes = memory;
-      handOn();
+      if (settled === 'later') handOn();
     });
+    settled = 'later';
   };
 
   const handOnHead = (chunk: HeldChunk): void => {
--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -111,7 +111,7 @@
   await new Promise(setImmediate);
   const answered = posted.filter(({ kind }) => kind === 'endpoint-answered');
   t.is(answered.length, effects.length);
-  for (const event of answered) t.like(event, { endpoint: ENDPOINT, requestId: null, statements });
+  for (const event of answered) t.like(event, { endpoint: ENDPOINT, request: null, statements });
 });
 
 const HEAD = { status: 200, headers: [] } as unknown as AnswerHead;
