--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -40,6 +40,11 @@
     level: 'warn',
     text: 'The process was paused for longer than a lease.',
   },
+  'loop-late': {
+    number: 1012,
+    level: 'warn',
+    text: 'A timer came late; the data tells how much processor time the process used meanwhile: little, if it was paused or waited for a processor.',
+  },
   'request-received': {
     number: 2001,
     level: 'info',
--- a/packages/core/loop/loop.ts
+++ b/packages/core/loop/loop.ts
@@ -5,6 +5,7 @@
   MAX_TIMER_MS,
   NEW_REQUEST_QUEUE_SHARE,
 } from './constants.js';
+import { createLatenessWatch } from './latenessWatch.js';
 import type { Loop, LoopOptions, PostResult, QueueClass, Timer } from './types.js';
 import { assertNever } from '../assertNever.js';
 import type { Millis } from '../clock.js';
@@ -48,6 +49,7 @@
   const timers = new Set<NodeJS.Timeout>();
   /** Instant at which a timer was noticed to be late. */
   let lateAt = -Infinity;
+  const watch = createLatenessWatch(options.onLate ?? (() => undefined));
 
   const getDepth = (): number => queue.length - head;
 
@@ -94,6 +96,7 @@
       timers.delete(handle);
       const now = performance.now();
       if (now - dueAt > LATE_TIMER_MS) lateAt = now;
+      watch.recordTimer(now, now - dueAt);
       post(event);
     }, delayMs);
     timers.add(handle);
--- a/packages/core/loop/types.ts
+++ b/packages/core/loop/types.ts
@@ -29,6 +29,14 @@
   readonly stop: () => void;
 }
 
+/** A timer that came late, and what the process did meanwhile. */
+export interface LoopLateness {
+  readonly lateMs: Millis;
+  /** Processor time of all threads of the process in the last `sinceMs`. */
+  readonly processorMs: Millis;
+  readonly sinceMs: Millis;
+}
+
 export interface LoopOptions<Event> {
   /** Number of queued events from which load reports are shed. */
   readonly capacity: number;
@@ -36,4 +44,6 @@
   readonly handle: (event: Event) => void;
   /** Receives an exception that `handle` threw, which no supervisor handled. */
   readonly onFault: (error: unknown) => void;
+  /** Receives a report on a late timer, once a second at most. */
+  readonly onLate?: (lateness: LoopLateness) => void;
 }
--- a/packages/core/supervision/daemon.ts
+++ b/packages/core/supervision/daemon.ts
@@ -1,7 +1,7 @@
 import type { RunningChild } from './types.js';
 import { DEFAULT_QUEUE_CAPACITY } from '../loop/constants.js';
 import { createLoop } from '../loop/loop.js';
-import type { Loop, QueueClass } from '../loop/types.js';
+import type { Loop, LoopLateness, QueueClass } from '../loop/types.js';
 
 export interface DaemonOptions<Event, Effect> {
   readonly classify: (event: Event) => QueueClass;
@@ -11,6 +11,8 @@
   readonly perform: (effect: Effect) => void;
   /** Receives an error that the root supervisor could not handle; the process exits after it. */
   readonly onFault: (error: unknown) => void;
+  /** Receives a report on a late timer of the loop, once a second at most. */
+  readonly onLate?: (lateness: LoopLateness) => void;
   /** Capacity of the event queue. */
   readonly capacity?: number;
 }
@@ -43,6 +45,7 @@
       if (root !== undefined) performEffects(root.handle(event));
     },
     onFault: options.onFault,
+    onLate: options.onLate,
   });
   return {
     loop,
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -322,6 +322,9 @@
       events.record('daemon-fault', { data: { error: String(error) } });
       cradle.onEnd({ kind: 'fault', error });
     },
+    onLate: (lateness) => {
+      events.record('loop-late', { data: { ...lateness } });
+    },
   });
   return daemon;
 };
