--- a/packages/decisions/forwarding/constants.ts
+++ b/packages/decisions/forwarding/constants.ts
@@ -76,8 +76,8 @@
 
 /**
  * Longest rest of an endpoint that is believed. It is longer than the timeouts of requests, in which an
- * endpoint works off all that it has. One that asks for more is tried once in this time, so that a
- * wrong statement starves a service for no longer.
+ * endpoint works off all that it has. Where most endpoints of a service ask for more, each is tried once
+ * in this time, so that wrong statements starve it for no longer.
  */
 export const MAX_REST_MS = 60_000;
 
--- a/packages/gateway/requests/requestLimits.ts
+++ b/packages/gateway/requests/requestLimits.ts
@@ -80,7 +80,7 @@
   return ownLimit - countSent(state, record.id, COLD_WINDOW_MS, now);
 };
 
-const countWilling = (candidates: readonly Candidate[], now: Millis): WillingEndpoints => {
+const checkWilling = (candidates: readonly Candidate[], now: Millis): WillingEndpoints => {
   const ready = candidates.filter(({ record }) => record.phase === 'ready');
   const willing = ready.filter(({ rest }) => !hasWish(rest, now));
   return willing.length * 2 >= ready.length ? 'enough' : 'too-few';
@@ -104,7 +104,7 @@
   inputs: LimitInputs,
   now: Millis,
 ): readonly Candidate[] => {
-  const willing = countWilling(candidates, now);
+  const willing = checkWilling(candidates, now);
   return candidates.map((candidate) => {
     const { limit, record } = candidate;
     const coldHeadroom = computeColdHeadroom(state, candidate, service, inputs, now);
