--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -214,7 +214,9 @@
       if (entry !== null) close(entry);
     },
     closeIdle: () => {
-      for (const { member } of [...entries.idle, ...entries.due]) member.closeIdle();
+      // Line ends before a request also count as the begin of a head.
+      const { due, idle, reading } = entries;
+      for (const { member } of [...idle, ...reading, ...due]) member.closeIdle();
     },
     count,
     countDue,
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -163,7 +163,7 @@
   const isIdle = (): boolean => {
     if (held.countBytes() > 0) return false;
     // The caller of a new connection may have sent its first request.
-    if (phase.kind === 'head') return partialBytes === 0 && answered === 'some';
+    if (phase.kind === 'head') return partialText === 'blank' && answered === 'some';
     return phase.kind === 'answer' && due?.writableEnded === true;
   };
 
