Treat a message whose status is outside 100 to 599 as no answer

Callers got the body of a worker's message with status 600 or 999 as an answer. The parser of node:http accepts any three digits, and only statuses below 200 were refused. Now one function, isAnswerStatus, decides what is an answer; the request is retried where that is allowed, else the caller gets 502. What such a message says of its worker (not run, rest, load) counts for nothing.

platform/oddAnswers.test.ts with 600 and 999 fails on (the caller gets 600) and passes now.

--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { limitOverhead } from '../../core/http/answerLimits.js';
+import { isAnswerStatus } from '../../core/http/answerStatus.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
@@ -60,7 +61,8 @@
  * accepts any three digits as a status, and header names that its server throws for.
  */
 const findHeadFault = ({ rawHeaders, statusCode = 0 }: IncomingMessage): string | null => {
-  if (statusCode < MIN_FINAL_STATUS) return `the answer has status ${statusCode.toString()}`;
+  if (statusCode < MIN_FINAL_STATUS || !isAnswerStatus(statusCode))
+    return `the answer has status ${statusCode.toString()}`;
   return hasValidNames(rawHeaders) ? null : 'the answer has a header with an invalid name';
 };
 
@@ -149,6 +151,7 @@
 
     /** The answer may be unusable or come too late, and what it says of its endpoint holds all the same. */
     const postStatements = ({ rawHeaders, statusCode = 0 }: IncomingMessage): void => {
+      if (!isAnswerStatus(statusCode)) return;
       const statements = codec.decodeStatements(statusCode, rawHeaders);
       if (statements === null) return;
       const endpoint = { id: order.head.endpointId, address, service, startedAt };
