Load the newest configuration when one answer does not hold what was missed

Now an answer of the store may take as long as its bytes keep arriving, the second connection opens only when none arrived for 0.3 s, and one answer of the operators' feed is limited to 320 KB: when there is more, the daemon loads the newest records instead of each version.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -1,14 +1,9 @@
-import type { EventLevel } from './types.js';
-
-interface CatalogueEntry {
-  readonly number: number;
-  readonly level: EventLevel;
-  /** When the event is logged; published in docs/EVENTS.md. */
-  readonly text: string;
-}
+import { GATEWAY_EVENTS } from './gatewayCatalogue.js';
+import type { CatalogueEntry } from './types.js';
 
 /** All events that a daemon can log. Numbers are never reused. */
 export const EVENT_CATALOGUE = {
+  ...GATEWAY_EVENTS,
   'daemon-started': {
     number: 1001,
     level: 'info',
@@ -311,26 +306,6 @@
     level: 'warn',
     text: 'A record of the platform could not be read and was skipped.',
   },
-  'feed-reloaded': {
-    number: 3010,
-    level: 'info',
-    text: 'The position in a feed is no longer valid, so the newest records are loaded again.',
-  },
-  'feed-answer-ignored': {
-    number: 3021,
-    level: 'info',
-    text: 'An answer to an earlier read of a feed, or from an older copy of the store, was ignored.',
-  },
-  'order-held': {
-    number: 3022,
-    level: 'warn',
-    text: 'An order that a restored store lacks still counts until it is written again or withdrawn.',
-  },
-  'registration-outdated': {
-    number: 3023,
-    level: 'info',
-    text: 'A registration that was written before what is known of the endpoint was ignored.',
-  },
   'quarantines-rewritten': {
     number: 3024,
     level: 'info',
--- /dev/null
+++ b/packages/core/events/gatewayCatalogue.ts
@@ -0,0 +1,30 @@
+import type { CatalogueEntry } from './types.js';
+
+/** Events of a gateway daemon about the feeds of the platform's store, its duties and its queue. */
+export const GATEWAY_EVENTS = {
+  'feed-reloaded': {
+    number: 3010,
+    level: 'info',
+    text: 'The position in a feed is no longer valid, so the newest records are loaded again.',
+  },
+  'feed-answer-ignored': {
+    number: 3021,
+    level: 'info',
+    text: 'An answer to an earlier read of a feed, or from an older copy of the store, was ignored.',
+  },
+  'order-held': {
+    number: 3022,
+    level: 'warn',
+    text: 'An order that a restored store lacks still counts until it is written again or withdrawn.',
+  },
+  'registration-outdated': {
+    number: 3023,
+    level: 'info',
+    text: 'A registration that was written before what is known of the endpoint was ignored.',
+  },
+  'feed-behind': {
+    number: 3026,
+    level: 'info',
+    text: 'One answer did not hold all records that a feed has, so the newest ones are loaded.',
+  },
+} as const satisfies Readonly<Record<string, CatalogueEntry>>;
--- a/packages/core/events/types.ts
+++ b/packages/core/events/types.ts
@@ -6,6 +6,14 @@
 
 export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
 
+/** Entry of the event catalogue. */
+export interface CatalogueEntry {
+  readonly number: number;
+  readonly level: EventLevel;
+  /** When the event is logged; published in docs/EVENTS.md. */
+  readonly text: string;
+}
+
 /** Position of the record, in a stream of the platform's log, that an event depends on. */
 export interface LogPosition {
   readonly stream: string;
--- a/packages/gateway/feeds/describeReads.ts
+++ b/packages/gateway/feeds/describeReads.ts
@@ -23,6 +23,24 @@
         },
       ];
 
+/**
+ * Describes that a daemon is too far behind in a feed to read all records in order.
+ *
+ * @param feed - feed that was read
+ * @param records - number of records in the answer
+ * @param remaining - number of records that the feed has beyond it
+ * @returns the log line
+ */
+export const describeBehind = (
+  feed: FeedName,
+  records: number,
+  remaining: number,
+): GatewayEffect => ({
+  kind: 'log',
+  name: 'feed-behind',
+  details: { data: { feed, records, remaining } },
+});
+
 /**
  * Describes that a second connection answered a read.
  *
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -1,7 +1,10 @@
 import { FEED_RETRY_MS, FEED_STALENESS_MARGIN_MS } from './constants.js';
+import { chooseCatchUp } from './catchUp.js';
+import type { CatchUp } from './catchUp.js';
 import { publishChanges } from './changes.js';
 import type { ReadScope } from './changes.js';
 import {
+  describeBehind,
   describeRecovery,
   describeReload,
   describeReplaced,
@@ -99,15 +102,23 @@
   now - state.readAt > computePause('registrations', pacing) + FEED_STALENESS_MARGIN_MS;
 
 /** Loads a feed again; a store that expires each position it states must not be loaded all the time. */
-const restartFeed = (
+const loadAgain = (
   feed: FeedName,
   state: FeedState,
-  epoch: StoreEpoch,
   context: ReadContext,
 ): Step<FeedState, GatewayEffect> => {
   const { failingSince, lastFailedAt, loadSentAt, uncertain } = state;
   const loading: FeedState = { kind: 'loading', failingSince, lastFailedAt, loadSentAt, uncertain };
-  const sent = sendNextAt(feed, loading, loadSentAt + FEED_RETRY_MS, context);
+  return sendNextAt(feed, loading, loadSentAt + FEED_RETRY_MS, context);
+};
+
+const restartFeed = (
+  feed: FeedName,
+  state: FeedState,
+  epoch: StoreEpoch,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  const sent = loadAgain(feed, state, context);
   return { state: sent.state, effects: [describeReload(feed, state, epoch), ...sent.effects] };
 };
 
@@ -131,6 +142,26 @@
   event: { to: 'feeds', kind: 'feed-due', feed },
 });
 
+/** Sends what follows an answer whose records were applied. */
+const sendFollowing = (
+  feed: FeedName,
+  next: FeedState,
+  catchUp: CatchUp | null,
+  nextReadAt: Millis,
+  context: ReadContext,
+): Step<FeedState, GatewayEffect> => {
+  switch (catchUp) {
+    case null:
+      return sendNextAt(feed, next, nextReadAt, context);
+    case 'in-order':
+      return sendNext(feed, next, context);
+    case 'newest':
+      return loadAgain(feed, next, context);
+    default:
+      return assertNever(catchUp);
+  }
+};
+
 /**
  * Computes the earliest instant of the next read. One that returned nothing is followed at once, since
  * the store held it, unless the store answered it early: it would be read without a pause.
@@ -170,10 +201,13 @@
     uncertain,
   };
   const nextReadAt = computeNextReadAt(feed, state, changes, context);
-  const sent = sendNextAt(feed, next, nextReadAt, context);
+  const remaining = result.kind === 'read' ? (result.remaining ?? 0) : 0;
+  const catchUp = chooseCatchUp(feed, remaining);
+  const sent = sendFollowing(feed, next, catchUp, nextReadAt, context);
   return {
     state: sent.state,
     effects: [
+      ...(catchUp === 'newest' ? [describeBehind(feed, changes.length, remaining)] : []),
       ...describeReplaced(feed, state, result, now),
       ...describeRecovery(feed, state, now),
       ...(scope === 'restored' && before !== null ? publishRestore(feed, before, position) : []),
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -120,7 +120,11 @@
 export type FeedResult =
   /** All current records; records that are missing from `changes` no longer exist. */
   | ({ readonly kind: 'loaded' } & FeedAnswer)
-  | ({ readonly kind: 'read' } & FeedAnswer)
+  | ({
+      readonly kind: 'read';
+      /** Number of records that the feed has beyond the position; 0 if not given. */
+      readonly remaining?: number;
+    } & FeedAnswer)
   /** The store does not have the records after the position. */
   | { readonly kind: 'expired'; readonly epoch: StoreEpoch }
   | {
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -14,6 +14,7 @@
 import type { ByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { Millis } from '../../core/clock.js';
 import { limitOverhead } from '../../core/http/answerLimits.js';
+import { isAnswerStatus } from '../../core/http/answerStatus.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
@@ -48,8 +49,15 @@
   readonly connection?: 'shared' | 'new';
   /** Replaces the timeout of the client, as for a request that repeats another one. */
   readonly timeoutMs?: Millis;
+  /**
+   * Longest time that the response may take while its bytes keep arriving: then the timeout counts
+   * from the newest bytes. Without it the timeout is that of the whole response.
+   */
+  readonly maxTransferMs?: Millis;
   /** Receives the head of the response, also of one whose body is cut or too large. */
   readonly onHead?: (head: IncomingMessage) => void;
+  /** Called when bytes of the response arrive. */
+  readonly onProgress?: () => void;
 }
 
 /** HTTP client of one service of the platform. */
@@ -122,10 +130,14 @@
   response: IncomingMessage,
   body: ReceivedBody,
   limits: BodyLimits,
+  onProgress: () => void,
 ): Promise<HttpResponse> => {
   try {
     openBody(response, body, limits);
-    for await (const chunk of response as AsyncIterable<Uint8Array>) addChunk(body, chunk, limits);
+    for await (const chunk of response as AsyncIterable<Uint8Array>) {
+      onProgress();
+      addChunk(body, chunk, limits);
+    }
     return {
       status: response.statusCode ?? 0,
       headers: response.headers,
@@ -185,12 +197,26 @@
         headers: buildHeaders(body),
         ...(signal === undefined ? {} : { signal }),
       });
+      const { maxTransferMs } = outgoing;
+      const startedAt = performance.now();
+      // Without a maximum of its own, the first limit is that of the whole response.
+      let dueAt = startedAt + timeoutMs + waitMs;
+      const recordProgress = (): void => {
+        outgoing.onProgress?.();
+        if (maxTransferMs === undefined) return;
+        const now = performance.now();
+        dueAt = Math.min(now + timeoutMs, startedAt + waitMs + maxTransferMs);
+      };
       // A timer that is late for lack of processor time may come before a response is noticed.
-      const timeout = setTimeout(() => {
+      const checkTimeout = (): void => {
         runAfterReads(() => {
-          if (phase === 'pending') client.destroy(new Error('the response timed out'));
+          if (phase === 'settled') return;
+          const leftMs = dueAt - performance.now();
+          if (leftMs > 0) timeout = setTimeout(checkTimeout, Math.ceil(leftMs));
+          else client.destroy(new Error('the response timed out'));
         });
-      }, timeoutMs + waitMs);
+      };
+      let timeout = setTimeout(checkTimeout, timeoutMs + waitMs);
       const settle = (): void => {
         phase = 'settled';
         clearTimeout(timeout);
@@ -217,8 +243,13 @@
       });
       client.on('error', fail);
       client.on('response', (response) => {
+        if (!isAnswerStatus(response.statusCode ?? 0)) {
+          client.destroy(new Error('the response has a status that is none'));
+          return;
+        }
         onHead?.(response);
-        readResponse(response, received, limits).then(
+        recordProgress();
+        readResponse(response, received, limits, recordProgress).then(
           (read) => {
             settle();
             resolve(Ok(read));
--- a/packages/platform/client/repeatedRead.ts
+++ b/packages/platform/client/repeatedRead.ts
@@ -6,7 +6,10 @@
 /** Read that is repeated on a new connection if its first one fails or its answer is overdue. */
 export interface RepeatableRead {
   readonly first: HttpRequest;
-  /** Time after which the answer to the first request is overdue. */
+  /**
+   * Time without any bytes after which the answer to the first request is overdue. Once it has begun,
+   * the wait of a long poll no longer counts.
+   */
   readonly overdueMs: Millis;
   /** Request on the new connection. */
   readonly second: HttpRequest;
@@ -24,7 +27,8 @@
 /**
  * Sends a read, and sends it again on a new connection if the first one fails or is overdue. Open
  * connections can fall silent for good while new ones work, so only a new connection without an
- * answer shows that the service cannot be reached. The first answer counts.
+ * answer shows that the service cannot be reached. An answer that still arrives is not overdue: on a
+ * slow link a second one would only take half of the rate. The first answer counts.
  *
  * @param client - client of the service
  * @param read - both requests, and the time after which the first is overdue
@@ -36,9 +40,11 @@
 ): Promise<RepeatedReadResult> =>
   new Promise((resolve) => {
     const abort = new AbortController();
+    const stalledMs = overdueMs - (first.waitMs ?? 0);
     let phase: 'first' | 'both' | 'settled' = 'first';
     let pending = 0;
     let newestSentAt = 0;
+    let progressedAt: Millis | null = null;
     let cause = 'no answer in time';
 
     const settle = (answer: RepeatedReadResult['answer'], replaced: string | null): void => {
@@ -68,10 +74,19 @@
     };
 
     // A timer that is late for lack of processor time may come before an answer is noticed.
-    const timer = setTimeout(() => {
+    const checkOverdue = (): void => {
       runAfterReads(() => {
-        startSecond(cause);
+        if (phase !== 'first') return;
+        const leftMs = progressedAt === null ? 0 : progressedAt + stalledMs - performance.now();
+        if (leftMs > 0) timer = setTimeout(checkOverdue, Math.ceil(leftMs));
+        else startSecond(cause);
       });
-    }, overdueMs);
-    void sendOn('first', first);
+    };
+    let timer = setTimeout(checkOverdue, overdueMs);
+    void sendOn('first', {
+      ...first,
+      onProgress: () => {
+        progressedAt = performance.now();
+      },
+    });
   });
