Report the use of the system, by one holder of a lease at a time

The bill of the users rests on counts of the requests of each customer by window, and no line of the gateway spoke of them. Where the settings name the duty, each gateway counts the requests that endpoints began to run and sends its counts to three daemons, chosen by rendezvous hashing, that watch a lease in the platform's log. Each record of the lease is appended under the condition that it follows the one that its author knows. The holder acts for as long as the lease counts from before its append, on the longer of both clocks; another takes over 3.25 s after it read the newest record. The counts of a window are fixed in the log before the first report, so a later holder reports the same.

The property runs the decision logic of the child over 2,000 histories of frozen, suspended, restarted, draining and cut daemons, lost, late and slow appends, outages, a silent service and steps of the time of day, against the four sentences on one holder: none is broken. Taken out one at a time, the time of day, the wait for the lapse, the time left at a report, the fixed counts, the validity after a lost answer and the observation of renewals each break a history; the start of the validity before an append does not.

--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -41,3 +41,11 @@
     },
   };
 };
+
+/**
+ * Creates the clock of the time of day, which may be stepped in either direction. It also counts the
+ * time for which the machine was suspended, which the monotonic clock may leave out.
+ *
+ * @returns the clock
+ */
+export const createWallClock = (): Clock => ({ now: () => Date.now() });
--- a/packages/core/events/gatewayCatalogue.ts
+++ b/packages/core/events/gatewayCatalogue.ts
@@ -27,4 +27,24 @@
     level: 'info',
     text: 'One answer did not hold all records that a feed has, so the newest ones are loaded.',
   },
+  'lease-changed': {
+    number: 7010,
+    level: 'info',
+    text: 'This daemon took the lease of the usage reports, lost it or gave it up.',
+  },
+  'lease-unavailable': {
+    number: 7011,
+    level: 'warn',
+    text: 'A read of the lease failed, or an append of the holder was not answered.',
+  },
+  'usage-fixed': {
+    number: 7012,
+    level: 'info',
+    text: 'The counts of a window were fixed in the log; they are reported as they are from then on.',
+  },
+  'usage-reported': {
+    number: 7013,
+    level: 'info',
+    text: 'The report of a window was accepted, refused, or sent without an answer.',
+  },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -15,6 +15,7 @@
       return 'new-request';
     case 'peer-report-received':
     case 'crashes-reported':
+    case 'usage-received':
       return 'report';
     case 'endpoint-answered':
     case 'answer-started':
@@ -28,10 +29,15 @@
     case 'quarantines-loaded':
     case 'caller-disconnected':
     case 'feed-answered':
+    case 'lease-loaded':
+    case 'lease-appended':
+    case 'usage-report-ended':
     case 'report-read':
     case 'request-arrived':
       return 'completion';
     case 'feed-due':
+    case 'usage-due':
+    case 'run-began':
     case 'configuration-read':
     case 'registrations-changed':
     case 'data-centres-changed':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -16,11 +16,18 @@
 import type { ReadScope } from './feeds/changes.js';
 import type { PeerCrashes } from './peers/crashReports.js';
 import type { PeerMessage } from './peers/types.js';
+import type {
+  LeaseAppend,
+  LeaseAppendResult,
+  LeaseLoad,
+  UsageReport,
+  UsageReportResult,
+} from './usage/types.js';
 import type { QuarantineLoad, QuarantineRecord } from './quarantine/types.js';
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
 import type { EventDetails } from '../core/events/types.js';
-import type { DataCentreId, EndpointId } from '../core/ids.js';
+import type { CustomerId, DataCentreId, EndpointId } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type { EndpointStatement } from '../decisions/forwarding/statements.js';
@@ -33,6 +40,7 @@
 } from '../decisions/forwarding/types.js';
 import type { CrashProgress } from '../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints, Fingerprint } from '../decisions/quarantine/types.js';
+import type { UsageMessage, WindowNumber } from '../decisions/usage/types.js';
 
 /** Why an attempt ended without a complete answer. */
 export type AttemptFailure =
@@ -227,6 +235,23 @@
   | { readonly kind: 'drain-checked'; readonly reads: 'due' | 'done' }
 );
 
+/** Counts of a daemon as it sends them; the receiver knows the host. */
+export type SentUsage = Omit<UsageMessage, 'host'>;
+
+export type UsageEvent = { readonly to: 'usage' } & (
+  | { readonly kind: 'usage-due' }
+  /** An endpoint began to run a request. */
+  | { readonly kind: 'run-began'; readonly customer: CustomerId }
+  | { readonly kind: 'usage-received'; readonly host: string; readonly message: SentUsage }
+  | { readonly kind: 'lease-loaded'; readonly result: LeaseLoad }
+  | { readonly kind: 'lease-appended'; readonly result: LeaseAppendResult }
+  | {
+      readonly kind: 'usage-report-ended';
+      readonly window: WindowNumber;
+      readonly result: UsageReportResult;
+    }
+);
+
 export type GatewayEvent =
   | FeedsEvent
   | ConfigurationEvent
@@ -236,6 +261,7 @@
   | QuarantineEvent
   | MovesEvent
   | RequestsEvent
+  | UsageEvent
   | FrontendEvent;
 
 /** Event of an attempt at an endpoint, or what the endpoint says of itself in its answer. */
@@ -308,6 +334,14 @@
       readonly kind: 'read-report';
       readonly endpoint: EndpointIncarnation;
     }
+  | { readonly kind: 'load-lease' }
+  | { readonly kind: 'append-lease'; readonly append: LeaseAppend }
+  | { readonly kind: 'report-usage'; readonly report: UsageReport }
+  | {
+      readonly kind: 'send-usage';
+      readonly hosts: readonly string[];
+      readonly message: SentUsage;
+    }
   | { readonly kind: 'load-quarantines' }
   | { readonly kind: 'save-quarantine'; readonly record: QuarantineRecord }
   | { readonly kind: 'remove-quarantine'; readonly fingerprint: Fingerprint }
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -7,6 +7,8 @@
 import { STORE_RETRY_MS } from './quarantine/constants.js';
 import { findRun } from './requests/runState.js';
 import type { QuarantineLoad, QuarantineRecord, QuarantineStore } from './quarantine/types.js';
+import { performUsageEffect } from './usage/perform.js';
+import type { UsageAdapters } from './usage/perform.js';
 import type {
   ControlAnswer,
   EngineControl,
@@ -25,7 +27,7 @@
 import type { EndpointIncarnation } from '../decisions/forwarding/types.js';
 
 /** Adapters that perform the effects of a gateway daemon. */
-export interface GatewayAdapters {
+export interface GatewayAdapters extends UsageAdapters {
   readonly loop: () => Loop<GatewayEvent>;
   readonly events: EventLog;
   readonly metrics: DeferredMetrics;
@@ -330,6 +332,14 @@
     case 'release-copy':
       releaseCopy(effect, adapters);
       return;
+    case 'load-lease':
+    case 'append-lease':
+    case 'report-usage':
+    case 'send-usage':
+      performUsageEffect(effect, adapters, (pending, toFailure, handle) => {
+        handleResult(effect.kind, pending, adapters, toFailure, handle);
+      });
+      return;
     case 'load-quarantines':
       loadQuarantines(adapters);
       return;
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -11,6 +11,7 @@
 import { failAttempt } from './crashes.js';
 import { finishStream, sendWholeAnswer } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { countRun } from './runCounting.js';
 import { describeHeld, endOverlap, isHeldForContinuation } from './silence.js';
 import { findMissingPart } from './streamEnd.js';
 import { checkStreamEnd } from './transfers.js';
@@ -95,7 +96,8 @@
   if (fault !== null) return endOpenAttempt(forwarding, attempt, fault, context);
   attempt.phase = 'answering';
   attempt.head = head;
-  return [];
+  // A stream runs with its first event; its head may come while it waits.
+  return isStreaming(forwarding, attempt) ? [] : countRun(forwarding, context);
 };
 
 const writeEvents = (
@@ -119,6 +121,7 @@
     forwarding.delivered = 'events';
     forwarding.firstEventAt = now;
     effects.push(
+      ...countRun(forwarding, context),
       { kind: 'start-answer', key, head: attempt.head as AnswerHead },
       {
         kind: 'record-latency',
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -1,5 +1,6 @@
 import { GROWTH_MARGIN_TOKENS } from './constants.js';
 import type { Attempt, Forwarding, RequestsState } from './types.js';
+import type { LoadRow } from '../peers/types.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import { OUTPUT_TOKEN_WEIGHT } from '../../decisions/forwarding/constants.js';
@@ -122,3 +123,17 @@
   }
   return transfers;
 };
+
+/**
+ * Lists the load of this daemon's requests on each endpoint as its reports have it.
+ *
+ * @param state - requests in flight
+ * @returns one row for each endpoint
+ */
+export const listOwnLoad = (state: RequestsState): readonly LoadRow[] =>
+  [...sumOwnLoads(state)].map(([endpoint, { requests, tokens, waitingTokens }]) => [
+    endpoint,
+    requests,
+    tokens,
+    waitingTokens,
+  ]);
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -187,6 +187,7 @@
     hasCrashes: () => quarantineState.evidence.reports.size > 0,
     checkContent: (content) => checkContent(quarantineState.evidence, content, clock.now()),
     hashContent: ({ body, path }) => path + Buffer.concat(body).toString(),
+    usageReports: 'off',
   });
   const { state } = logic.init();
   clock.advance(COUNTED_MS);
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -122,6 +122,7 @@
   eventsDelivered: 0,
   fallbackAnswer: null,
   firstEventAt: null,
+  usage: 'not-counted',
   longestGapMs: 0,
   lastDeliveredAt: request.receivedAt,
 });
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -142,6 +142,8 @@
   /** Answer of a failed attempt, which the caller gets when no further attempt succeeds. */
   fallbackAnswer: WholeAnswer | null;
   firstEventAt: Millis | null;
+  /** Whether the request was counted for the usage reports. */
+  usage: 'not-counted' | 'counted';
   longestGapMs: Millis;
   lastDeliveredAt: Millis;
 }
@@ -194,6 +196,7 @@
   readonly hasCrashes: () => boolean;
   readonly checkContent: (content: ContentFingerprints) => ContentCheck;
   readonly hashContent: (request: ForwardRequest) => string;
+  readonly usageReports: 'on' | 'off';
 }
 
 /** State and inputs of one decision on requests. */
--- a/packages/gateway/statements/statedFleet.fixture.ts
+++ b/packages/gateway/statements/statedFleet.fixture.ts
@@ -132,6 +132,7 @@
     hasCrashes: () => false,
     checkContent: () => ({ kind: 'accepted' }),
     hashContent: () => '',
+    usageReports: 'off',
   });
   const requestsState = requests.init().state;
 
--- a/packages/gateway/supervisor.ts
+++ b/packages/gateway/supervisor.ts
@@ -11,6 +11,7 @@
   QuarantineEvent,
   RequestsEvent,
   StatementsEvent,
+  UsageEvent,
 } from './events.js';
 import type { FeedsState } from './feeds/feedState.js';
 import type { GateState } from './frontend/gate.js';
@@ -20,6 +21,7 @@
 import type { QuarantineState } from './quarantine/quarantine.js';
 import type { RequestsState } from './requests/types.js';
 import type { StatementsState } from './statements/statements.js';
+import type { UsageState } from './usage/usageState.js';
 import { buildRoutedChild } from '../core/supervision/routedChild.js';
 import type { ChildLogic, SupervisorSpec } from '../core/supervision/types.js';
 
@@ -34,6 +36,7 @@
   feeds: FeedsState;
   frontend: GateState;
   statements: StatementsState;
+  usage: UsageState;
 }
 
 /** Decision logic of each child. */
@@ -47,6 +50,7 @@
   readonly feeds: ChildLogic<FeedsState, FeedsEvent, GatewayEffect>;
   readonly frontend: ChildLogic<GateState, FrontendEvent, GatewayEffect>;
   readonly statements: ChildLogic<StatementsState, StatementsEvent, GatewayEffect>;
+  readonly usage: ChildLogic<UsageState, UsageEvent, GatewayEffect>;
 }
 
 /**
@@ -135,6 +139,14 @@
         states.statements = state;
       },
     }),
+    // Its counts outlive it; what it knew of the lease is read from the log again.
+    buildRoutedChild<GatewayEvent, 'usage', UsageState, GatewayEffect>('usage', {
+      rebuildsFrom: 'log',
+      createLogic: () => logics.usage,
+      publish: (state) => {
+        states.usage = state;
+      },
+    }),
   ],
   route: (event) => event.to,
 });
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -1,3 +1,4 @@
+import type { UsageSettings } from './usage/usageState.js';
 import type { Millis } from '../core/clock.js';
 import type { CustomerId, DataCentreId, EndpointId } from '../core/ids.js';
 import type { RetryBudgetSettings } from '../decisions/forwarding/budgetWindow.js';
@@ -25,6 +26,8 @@
   readonly store: StoreSettings;
   /** Memory above which the platform kills the process. */
   readonly memoryBytes: number;
+  /** How the use of the system is reported; null when it is not. */
+  readonly usage: UsageSettings | null;
   readonly live: LiveSettings;
 }
 
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -35,13 +35,16 @@
 import type { QuarantineStore } from './quarantine/types.js';
 import { createStringHash, hashContent } from './hashes.js';
 import { performEffect } from './perform.js';
-import { GATEWAY_HOLDERS } from './memory.js';
+import { reportFullMemory } from './fullMemory.js';
 import type { GatewayMemory } from './memory.js';
-import { listOwnTransfers, listSingleRunEndpoints, sumOwnLoads } from './requests/load.js';
+import { listOwnLoad, listOwnTransfers, listSingleRunEndpoints } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { findStatements } from './statements/incarnations.js';
 import type { StatedIncarnations } from './statements/incarnations.js';
 import { createStatementsLogic, hasNews, listStatedLeaving } from './statements/statements.js';
+import { createUsageLogic } from './usage/usage.js';
+import type { LeaseLog, UsageService } from './usage/types.js';
+import { CANDIDATE_COUNT } from './usage/constants.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
 import type {
@@ -51,7 +54,7 @@
   HeadCodec,
   LiveSettings,
 } from './types.js';
-import { createSystemClock } from '../core/clock.js';
+import { createSystemClock, createWallClock } from '../core/clock.js';
 import type { Clock, Millis } from '../core/clock.js';
 import { createEventLog } from '../core/events/eventLog.js';
 import type { EventLog } from '../core/events/eventLog.js';
@@ -68,6 +71,7 @@
 import { hasWish } from '../decisions/forwarding/rest.js';
 import { chooseByRendezvous } from '../decisions/membership/rendezvous.js';
 import { checkContent } from '../decisions/quarantine/crashEvidence.js';
+import { createUsageTable } from '../decisions/usage/usageTable.js';
 
 /** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
 export type EndReason =
@@ -80,6 +84,8 @@
   readonly feeds: FeedReader;
   readonly engines: EngineControl;
   readonly quarantines: QuarantineStore;
+  readonly leases: LeaseLog;
+  readonly usage: UsageService;
   /** Owner of the memory that others can fill, which the adapters share. */
   readonly memory: GatewayMemory;
 }
@@ -184,6 +190,9 @@
     (error) => {
       cradle.events.record('peer-unreachable', { data: { error: error.message } });
     },
+    (host, message) => {
+      cradle.daemon.loop.post({ to: 'usage', kind: 'usage-received', host, message });
+    },
   );
 
 const buildLogics = (cradle: GatewayCradle): GatewayLogics => {
@@ -226,6 +235,7 @@
       hasCrashes: () => states.quarantine.evidence.reports.size > 0,
       checkContent: (content) => checkContent(states.quarantine.evidence, content, clock.now()),
       hashContent,
+      usageReports: settings.usage === null ? 'off' : 'on',
     }),
     quarantine: createQuarantineLogic({ clock, random, writes: createQuarantineWrites() }),
     peers: createPeersLogic({
@@ -238,13 +248,7 @@
       },
       hash: limitInputs.hash,
       getSeeds: () => live.current.seeds,
-      listOwnLoad: () =>
-        [...sumOwnLoads(states.requests)].map(([id, { requests, tokens, waitingTokens }]) => [
-          id,
-          requests,
-          tokens,
-          waitingTokens,
-        ]),
+      listOwnLoad: () => listOwnLoad(states.requests),
       listLeaving: (since) => [
         ...new Set([
           ...listLeaving(states.membership, since),
@@ -273,6 +277,19 @@
       incarnations,
       findRegistered: (id) => findRegistered(states.membership, id),
     }),
+    usage: createUsageLogic({
+      clock,
+      wallClock: createWallClock(),
+      self: { process: settings.process, host: settings.peers.host },
+      settings: settings.usage,
+      createIncarnation: createId,
+      listHosts: () => [...states.peers.daemons.keys()],
+      chooseCandidates: (hosts) =>
+        chooseByRendezvous('usage', hosts, CANDIDATE_COUNT, limitInputs.hash),
+      getPhase: () => (states.frontend.phase === 'accepting' ? 'serving' : 'draining'),
+      table: createUsageTable(),
+      fixed: new Map(),
+    }),
     moves: createMovesLogic(clock, createNewestMoves()),
     feeds: createFeedsLogic({ clock, getPacingInputs, newestReads: new Map() }),
     frontend: createGateLogic({
@@ -307,6 +324,8 @@
     feeds: ports.feeds,
     engines: ports.engines,
     quarantines: ports.quarantines,
+    leases: ports.leases,
+    usage: ports.usage,
     endProcess: (left: number) => {
       cradle.onEnd({ kind: 'drained', left });
     },
@@ -329,18 +348,6 @@
   return daemon;
 };
 
-/** Reports each part of the daemon that could not reserve memory, with what all of them hold. */
-const reportFullMemory = ({ events, metrics, ports }: GatewayCradle): void => {
-  const { accounts, notifyFull } = ports.memory;
-  notifyFull((holder, bytes) => {
-    metrics.addCount('gateway_memory_refusals_total', { holder });
-    const reserved = GATEWAY_HOLDERS.map((name) => [name, accounts[name].getReserved()]);
-    events.record('memory-full', {
-      data: { holder, bytes, ...(Object.fromEntries(reserved) as Record<string, number>) },
-    });
-  });
-};
-
 /**
  * Wires the parts of a gateway daemon.
  *
@@ -385,6 +392,7 @@
   } = container.cradle;
   // The requests child counts its answers itself, since it starts anew without them.
   memory.observe('answers', () => states.requests.answerBytes);
-  reportFullMemory(container.cradle);
+  const { events, metrics } = container.cradle;
+  reportFullMemory(memory, events, metrics);
   return container;
 };
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -42,6 +42,8 @@
   readonly json?: unknown;
   /** Body that is sent unchanged. */
   readonly bytes?: Uint8Array;
+  /** Headers in addition to those of the body, which they replace. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** Time for which the service may delay its response, in addition to the timeout. */
   readonly waitMs?: Millis;
   readonly signal?: AbortSignal | undefined;
@@ -194,7 +196,7 @@
         port: serviceUrl.port,
         method,
         path,
-        headers: buildHeaders(body),
+        headers: { ...buildHeaders(body), ...outgoing.headers },
         ...(signal === undefined ? {} : { signal }),
       });
       const { maxTransferMs } = outgoing;
