Let requests wait for room in engines in their order, and count the pace that endpoints state

Each waiting request tried placement again by itself every 20 ms, in no order, by the memory in use at that moment; a burst of long generations was placed by its prompts, ran out of memory as it grew, and the engine read the newest again.

Now an engine has room if its memory suffices until the new generation ends, with the growth of the others meanwhile, which the reports of the peers carry. Endpoints with room come first, also in another data centre. Without room, requests wait in one queue for each service, ordered by the ranks of customer and route, the target and the customer's share of the tokens placed lately; less urgent ones leave room for two of the most urgent.

--- a/packages/core/events/gatewayCatalogue.ts
+++ b/packages/core/events/gatewayCatalogue.ts
@@ -47,4 +47,9 @@
     level: 'info',
     text: 'The report of a window was accepted, refused, or sent without an answer.',
   },
+  'request-waiting': {
+    number: 2034,
+    level: 'info',
+    text: 'A request waits for room in an engine of its service; the data has its rank and how many wait.',
+  },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
--- a/packages/decisions/forwarding/placeAttempt.ts
+++ b/packages/decisions/forwarding/placeAttempt.ts
@@ -16,6 +16,8 @@
   readonly tokens: number;
   /** Tokens of prompts that wait to be processed and delay a new one. */
   readonly waitingTokens: number;
+  /** Tokens by which the running generations are expected to grow beyond `tokens`. */
+  readonly growthTokens: number;
 }
 
 /** An endpoint with the health and load on which its placement depends. */
@@ -77,6 +79,12 @@
 /** Largest stated load that counts, in multiples of the slots of the endpoint. */
 const MAX_STATED_LOAD_FACTOR = 3;
 
+/**
+ * Largest stated slowdown that counts. A smaller one than 1 does not count at all, so that an endpoint
+ * cannot attract requests by it.
+ */
+const MAX_STATED_SLOWDOWN = 4;
+
 /** Latency assumed for an endpoint that has not answered yet. */
 const DEFAULT_ANSWER_MS = 20;
 
@@ -143,6 +151,17 @@
   (limitHeadroom === null || limitHeadroom > 0) &&
   (restGate === null || restGate.headroom > 0);
 
+const computeStatedWeight = ({ observedAt }: StatedLoad, now: Millis): number =>
+  Math.max(0, 1 - (now - observedAt) / STATED_LOAD_VALIDITY_MS);
+
+/** Computes how much longer work takes on an endpoint than usual, as it states. */
+const computeSlowdown = ({ statedLoad }: Candidate, now: Millis): number => {
+  const stated = statedLoad?.slowdown ?? null;
+  if (statedLoad === null || stated === null) return 1;
+  const counted = Math.min(Math.max(1, stated), MAX_STATED_SLOWDOWN);
+  return 1 + (counted - 1) * computeStatedWeight(statedLoad, now);
+};
+
 /**
  * Counts the requests on an endpoint: those that the daemons report, or those that the endpoint
  * stated if they are more. A statement includes the reported requests, so the two are not added; it
@@ -150,7 +169,7 @@
  */
 const countRequests = ({ load, record, statedLoad }: Candidate, now: Millis): number => {
   if (statedLoad === null) return load.requests;
-  const weight = Math.max(0, 1 - (now - statedLoad.observedAt) / STATED_LOAD_VALIDITY_MS);
+  const weight = computeStatedWeight(statedLoad, now);
   const stated = Math.min(statedLoad.requests, MAX_STATED_LOAD_FACTOR * record.slots);
   return Math.max(load.requests, stated * weight);
 };
@@ -164,7 +183,8 @@
   criteria: PlacementCriteria,
 ): number => {
   const { health, record } = candidate;
-  const answerMs = health.answerMs ?? DEFAULT_ANSWER_MS;
+  const answerMs =
+    (health.answerMs ?? DEFAULT_ANSWER_MS) * computeSlowdown(candidate, criteria.now);
   const slotShare = countRequests(candidate, criteria.now) / Math.max(1, record.slots);
   const distance = isRemote(record, criteria) ? REMOTE_PLAIN_FACTOR : 1;
   return answerMs * (1 + 2 * slotShare) * distance + excessRate * FAILURE_COST * criteria.targetMs;
@@ -185,7 +205,8 @@
   const overflow = utilization > 1 ? (utilization - 1) * OVERFLOW_COST : 0;
   const waiting = (load.waitingTokens * WAITING_TOKEN_COST) / memory;
   const distance = isRemote(record, criteria) ? REMOTE_ENGINE_COST : 0;
-  return slotShare + memoryShare + waiting + overflow + distance + excessRate * FAILURE_COST;
+  const work = (slotShare + memoryShare + waiting) * computeSlowdown(candidate, criteria.now);
+  return work + overflow + distance + excessRate * FAILURE_COST;
 };
 
 const computeScore = (
@@ -219,20 +240,6 @@
   return best;
 };
 
-/**
- * Reports whether an endpoint can run a request without preempting others.
- *
- * @param candidate - endpoint
- * @param criteria - requirements of the request
- * @returns true when its memory and slots suffice
- */
-export const hasCapacity = ({ load, record }: Candidate, criteria: PlacementCriteria): boolean => {
-  const { demand, service } = criteria;
-  if (service.engine === null || demand === null) return true;
-  const tokens = load.tokens + demand.promptTokens;
-  return tokens <= service.engine.memoryTokens && load.requests < record.slots;
-};
-
 /**
  * Reports whether an endpoint has so many generations that a new one would wait for its memory
  * until others end.
--- a/packages/decisions/forwarding/routing.ts
+++ b/packages/decisions/forwarding/routing.ts
@@ -16,6 +16,8 @@
   readonly byHost: ReadonlyMap<string, readonly Route[]>;
   readonly byKey: ReadonlyMap<string, Customer>;
   readonly services: ReadonlyMap<ServiceName, Service>;
+  /** Rank of the most urgent route to each service. */
+  readonly topRanks: ReadonlyMap<ServiceName, number>;
 }
 
 /** Route and customer of a request, or why it is refused before it reaches an endpoint. */
@@ -36,6 +38,15 @@
   return byHost;
 };
 
+const findTopRanks = (routes: readonly Route[]): ReadonlyMap<ServiceName, number> => {
+  const ranks = new Map<ServiceName, number>();
+  for (const { rank, targets } of routes) {
+    for (const { service } of targets)
+      ranks.set(service, Math.min(rank, ranks.get(service) ?? Infinity));
+  }
+  return ranks;
+};
+
 /**
  * Builds the lookup tables of a configuration.
  *
@@ -52,6 +63,7 @@
     ),
   ),
   services: new Map(configuration.services.map((service) => [service.name, service])),
+  topRanks: findTopRanks(configuration.routes),
 });
 
 const toHostName = (host: string): string => {
--- a/packages/decisions/forwarding/statements.ts
+++ b/packages/decisions/forwarding/statements.ts
@@ -15,6 +15,8 @@
       readonly running: number;
       readonly waiting: number;
       readonly slots: number;
+      /** How long its work takes now, as a multiple of the usual time; null if it does not say. */
+      readonly slowdown: number | null;
     }
   /** Requests per second that it accepts from all daemons together. */
   | { readonly kind: 'limit'; readonly requestsPerSecond: number }
@@ -27,6 +29,7 @@
 /** Number of requests that an endpoint stated in an answer, those that wait included. */
 export interface StatedLoad {
   readonly requests: number;
+  readonly slowdown: number | null;
   readonly observedAt: Millis;
 }
 
@@ -88,7 +91,8 @@
   switch (statement.kind) {
     case 'load': {
       const requests = statement.running + statement.waiting;
-      return { ...stated, load: { requests, observedAt: now } };
+      const { slowdown } = statement;
+      return { ...stated, load: { requests, slowdown, observedAt: now } };
     }
     case 'limit': {
       const { requestsPerSecond } = statement;
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -58,6 +58,7 @@
     case 'move-hold-due':
     case 'deadline-reached':
     case 'placement-due':
+    case 'room-due':
     case 'hedge-due':
     case 'stall-check-due':
     case 'run-check-due':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -194,6 +194,8 @@
     }
   | { readonly kind: 'deadline-reached'; readonly key: number }
   | { readonly kind: 'placement-due'; readonly key: number }
+  /** The requests of a service that wait for room in an engine are to be tried. */
+  | { readonly kind: 'room-due'; readonly service: ServiceName }
   | { readonly kind: 'hedge-due'; readonly key: number; readonly attempt: number }
   | { readonly kind: 'stall-check-due'; readonly key: number; readonly attempt: number }
   /** The engine of a silent stream is to be asked whether it still runs the request. */
--- a/packages/gateway/peers/peerCodec.ts
+++ b/packages/gateway/peers/peerCodec.ts
@@ -17,7 +17,8 @@
   typeof value[0] === 'string' &&
   isCount(value[1]) &&
   isCount(value[2]) &&
-  isCount(value[3]);
+  isCount(value[3]) &&
+  (value[4] === undefined || isCount(value[4]));
 
 const isLimitRow = (value: unknown): boolean =>
   Array.isArray(value) &&
--- a/packages/gateway/peers/summary.ts
+++ b/packages/gateway/peers/summary.ts
@@ -9,7 +9,7 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { FleetMember, GroupName } from '../../decisions/membership/reportGroups.js';
-import { addLoads, NO_LOAD } from '../requests/load.js';
+import { addLoads, NO_LOAD, toLoadRow } from '../requests/load.js';
 
 /** Report of one member of a group, and when it was received. */
 export interface MemberReport {
@@ -28,8 +28,8 @@
   rows: readonly LoadRow[],
 ): ReadonlyMap<EndpointId, EndpointLoad> => {
   const loads = new Map<EndpointId, EndpointLoad>();
-  for (const [endpoint, requests, tokens, waitingTokens] of rows) {
-    const load = { requests, tokens, waitingTokens };
+  for (const [endpoint, requests, tokens, waitingTokens, growthTokens = 0] of rows) {
+    const load = { requests, tokens, waitingTokens, growthTokens };
     loads.set(endpoint, addLoads(loads.get(endpoint) ?? NO_LOAD, load));
   }
   return loads;
@@ -38,9 +38,7 @@
 /** Sums the loads by endpoint, the endpoints with most requests first. */
 const sumLoadRows = (reports: readonly MemberReport[]): readonly LoadRow[] =>
   [...toLoadsByEndpoint(reports.flatMap(({ report }) => report.load))]
-    .map(([endpoint, load]): LoadRow => {
-      return [endpoint, load.requests, load.tokens, load.waitingTokens];
-    })
+    .map(([endpoint, load]) => toLoadRow(endpoint, load))
     .sort((left, right) => right[1] - left[1])
     .slice(0, MAX_SUMMARY_LOAD_ROWS);
 
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -6,13 +6,15 @@
 
 /**
  * Load of one daemon's requests on one endpoint. `waitingTokens` are the prompt tokens of requests
- * without a first event.
+ * without a first event. `growthTokens` are those by which the running ones are expected to grow; a daemon
+ * of an earlier version leaves them out.
  */
 export type LoadRow = readonly [
   endpoint: string,
   requests: number,
   tokens: number,
   waitingTokens: number,
+  growthTokens?: number,
 ];
 
 /**
--- a/packages/gateway/requests/answerMemory.ts
+++ b/packages/gateway/requests/answerMemory.ts
@@ -1,3 +1,4 @@
+import { removeWaiting } from './waitingRoom.js';
 import type { Attempt, Forwarding, RequestsState, WholeAnswer } from './types.js';
 import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 
@@ -78,6 +79,7 @@
 export const removeForwarding = (forwarding: Forwarding, state: RequestsState): void => {
   removeAttempts(forwarding, state);
   if (forwarding.waitingPermit !== null) releaseSend(forwarding.waitingPermit);
+  removeWaiting(forwarding, { state });
   state.answerBytes -= forwarding.fallbackAnswer?.heldBytes ?? 0;
   forwarding.fallbackAnswer = null;
   state.inFlight.delete(forwarding.request.key);
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -7,13 +7,14 @@
 import { releaseCopy } from './generationCopy.js';
 import type { CopyLocation } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
+import { removeWaiting } from './waitingRoom.js';
 import { waitForTransfer } from './transferTurns.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { createByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { EndpointId } from '../../core/ids.js';
+import { hasRoom } from '../../decisions/forwarding/crowding.js';
 import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
 import {
-  hasCapacity,
   placeBackup,
   placeAttempt,
   placeTransfer,
@@ -69,6 +70,8 @@
   readonly endpoint: EndpointRecord;
   /** Load of the endpoint, as far as it is known. */
   readonly load: EndpointLoad;
+  /** Whether the engine has room for the request; it has if not given. */
+  readonly room?: 'room' | 'crowded';
   /** Endpoints from which the one of the backup is chosen. */
   readonly candidates: readonly Candidate[];
   /** Copy of the generation's memory to resume from; null for other attempts. */
@@ -98,6 +101,7 @@
   const { candidates, endpoint, load } = plan;
   const { customer, request, route, service } = forwarding;
   const now = inputs.clock.now();
+  removeWaiting(forwarding, context);
   const backup = chooseBackup(forwarding, endpoint, candidates, context);
   forwarding.attemptsMade += 1;
   forwarding.waitingPermit = null;
@@ -161,6 +165,8 @@
           resting: candidates.filter(({ restGate }) => (restGate?.headroom ?? 1) <= 0).length,
           load: load.requests,
           tokens: load.tokens,
+          room: plan.room ?? 'room',
+          waitedMs: Math.round(now - request.receivedAt),
           backup: backup?.id ?? '',
           leftMs: Math.round(forwarding.deadlineAt - now),
           promptParts: request.promptParts,
@@ -246,7 +252,7 @@
   );
   const criteria = buildCriteria(forwarding, inputs);
   const candidate = placeAttempt(candidates, criteria, inputs.random);
-  if (candidate === null || !hasCapacity(candidate, criteria)) return null;
+  if (candidate === null || !hasRoom(candidate, criteria, 0)) return null;
   const { load, record } = candidate;
   return { endpoint: record, load, candidates, copy: null };
 };
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -2,10 +2,16 @@
 export const MAX_PLACEMENT_WAIT_SHARE = 0.12;
 
 /**
- * Share of the latency target for which a generation waits for free capacity. After that it is
- * placed even if that preempts other generations.
+ * Share of the latency target for which a generation waits for room. After that it is placed even if
+ * that preempts other generations. One of the most urgent rank of its service preempts those of others.
  */
-export const MAX_CAPACITY_WAIT_SHARE = 0.3;
+export const MAX_ROOM_WAIT_SHARE: Readonly<Record<'first' | 'yields', number>> = {
+  first: 0.3,
+  yields: 0.4,
+};
+
+/** Number of the requests that wait for room in a service of which placement is tried at a time. */
+export const MAX_PLACED_AT_ONCE = 8;
 
 /** Delay before the placement of a waiting request is tried again. */
 export const PLACEMENT_RETRY_MS = 20;
--- a/packages/gateway/requests/load.ts
+++ b/packages/gateway/requests/load.ts
@@ -7,7 +7,12 @@
 import { estimateOutput, estimatePeakTokens } from '../../decisions/forwarding/placeAttempt.js';
 import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 
-export const NO_LOAD: EndpointLoad = { requests: 0, tokens: 0, waitingTokens: 0 };
+export const NO_LOAD: EndpointLoad = {
+  requests: 0,
+  tokens: 0,
+  waitingTokens: 0,
+  growthTokens: 0,
+};
 
 /**
  * Adds two loads.
@@ -20,6 +25,7 @@
   requests: left.requests + right.requests,
   tokens: left.tokens + right.tokens,
   waitingTokens: left.waitingTokens + right.waitingTokens,
+  growthTokens: left.growthTokens + right.growthTokens,
 });
 
 /** Counts the output tokens that a generation has delivered so far. */
@@ -49,11 +55,16 @@
   return demand.promptTokens + OUTPUT_TOKEN_WEIGHT * output;
 };
 
-const computeAttemptLoad = (forwarding: Forwarding, attempt: Attempt): EndpointLoad => ({
-  requests: 1,
-  tokens: estimateMemoryTokens(forwarding),
-  waitingTokens: attempt.events === 0 ? (forwarding.request.demand?.promptTokens ?? 0) : 0,
-});
+const computeAttemptLoad = (forwarding: Forwarding, attempt: Attempt): EndpointLoad => {
+  const { demand } = forwarding.request;
+  const tokens = estimateMemoryTokens(forwarding);
+  return {
+    requests: 1,
+    tokens,
+    waitingTokens: attempt.events === 0 ? (demand?.promptTokens ?? 0) : 0,
+    growthTokens: demand === null ? 0 : Math.max(0, estimatePeakTokens(demand) - tokens),
+  };
+};
 
 /**
  * Sums the load of this daemon's requests on each endpoint, including transfers to it and the
@@ -124,6 +135,18 @@
   return transfers;
 };
 
+/**
+ * Converts a load to a row of a report.
+ *
+ * @param endpoint - endpoint
+ * @param load - load on it
+ * @returns the row
+ */
+export const toLoadRow = (
+  endpoint: EndpointId,
+  { growthTokens, requests, tokens, waitingTokens }: EndpointLoad,
+): LoadRow => [endpoint, requests, tokens, waitingTokens, growthTokens];
+
 /**
  * Lists the load of this daemon's requests on each endpoint as its reports have it.
  *
@@ -131,9 +154,4 @@
  * @returns one row for each endpoint
  */
 export const listOwnLoad = (state: RequestsState): readonly LoadRow[] =>
-  [...sumOwnLoads(state)].map(([endpoint, { requests, tokens, waitingTokens }]) => [
-    endpoint,
-    requests,
-    tokens,
-    waitingTokens,
-  ]);
+  [...sumOwnLoads(state)].map(([endpoint, load]) => toLoadRow(endpoint, load));
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,7 +1,7 @@
 import { continueAnswer, finishAnswer, releaseHeldStream, startAnswer } from './answering.js';
 import { removeForwarding } from './answerMemory.js';
 import { cancelAttempts } from './attempts.js';
-import { placeRequest } from './placeRequest.js';
+import { placeRequest, placeWaiting } from './placeRequest.js';
 import {
   DRAIN_ACCEPT_MS,
   DRAIN_RETRY_AFTER_MS,
@@ -112,6 +112,7 @@
   attemptsMade: 0,
   sends: 0,
   waitingPermit: null,
+  waitsForRoomUntil: null,
   possibleRuns: 0,
   notRunAttempts: 0,
   crashedEndpoints: 0,
@@ -247,6 +248,7 @@
 
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
   if (event.kind === 'request-arrived') return admitRequest(event.request, context);
+  if (event.kind === 'room-due') return placeWaiting(event.service, context);
   if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   if (event.kind === 'content-quarantined') return cancelQuarantined(context);
@@ -301,6 +303,10 @@
       answerBytes: 0,
       budgets: new Map(),
       sentTimes: new Map(),
+      waiting: new Map(),
+      scheduledRooms: new Set(),
+      recentUse: new Map(),
+      urgentNeeds: new Map(),
     },
     effects: [{ kind: 'reset-requests' }],
   }),
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -10,6 +10,7 @@
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
 import type { HolderState, ResumptionLimits } from '../../decisions/forwarding/resumption.js';
 import type { BudgetWindow } from '../../decisions/forwarding/budgetWindow.js';
+import type { RecentUse } from '../../decisions/forwarding/recentUse.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { ContentCheck } from '../../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints } from '../../decisions/quarantine/types.js';
@@ -125,6 +126,8 @@
   sends: number;
   /** Permission with which the request waits for an endpoint; null while it does not wait. */
   waitingPermit: SendPermit | null;
+  /** Instant until which it waits for room in an engine; null while it does not. */
+  waitsForRoomUntil: Millis | null;
   /** Number of ended attempts that may have run the request. */
   possibleRuns: number;
   /** Number of endpoints that crashed before they answered the request. */
@@ -157,6 +160,14 @@
   readonly budgets: Map<ServiceName, BudgetWindow>;
   /** Instants of the latest requests to each endpoint, oldest first. */
   readonly sentTimes: Map<EndpointId, readonly Millis[]>;
+  /** Keys of the requests of each service that wait for room in an engine. */
+  readonly waiting: Map<ServiceName, Set<number>>;
+  /** Services whose waiting requests are due to be tried. */
+  readonly scheduledRooms: Set<ServiceName>;
+  /** Tokens of the requests of each customer that were placed lately. */
+  readonly recentUse: RecentUse;
+  /** Mean tokens that the most urgent requests of each service need. */
+  readonly urgentNeeds: Map<ServiceName, number>;
 }
 
 /** Progress of a daemon's drain. */
