Compute the turn of a waiting request once, and keep retries off the endpoints that were tried

The order of the room asked for each customer's share again at each comparison, so its cost grew with the waiting requests times the customers; the share counts as of the start of the wait. An endpoint with room that had already got the request came before untried ones without; untried ones come first again.

--- a/packages/decisions/forwarding/crowding.ts
+++ b/packages/decisions/forwarding/crowding.ts
@@ -16,9 +16,6 @@
 /** Weight of a new request in the mean need of the most urgent ones. */
 const NEED_WEIGHT = 0.1;
 
-/** Largest delay by which the requests of one customer yield to others, in shares of the target. */
-const MAX_FAIRNESS_SHARE = 1;
-
 /** A request that waits for room in an engine. */
 export interface WaitingRequest {
   /** Rank of its customer, or 0 if it has none; 0 is the most urgent. */
@@ -38,12 +35,11 @@
  * delay all others; they still come before those that have waited longer than that.
  */
 const computeTurn = ({ customerShare, targetAt, targetMs }: WaitingRequest): Millis =>
-  targetAt + customerShare * MAX_FAIRNESS_SHARE * targetMs;
+  targetAt + customerShare * targetMs;
 
 /**
- * Compares two waiting requests of a service: the one of the more urgent customer first, then of the more
- * urgent route, then the one whose target is
- * nearer, with the customers' shares taken into account.
+ * Compares two waiting requests of a service: the one of the more urgent customer first, then the one of
+ * the more urgent route, then the one whose target is nearer, with the customers' shares taken into account.
  *
  * @param left - one request
  * @param right - other request
--- a/packages/decisions/usage/constants.ts
+++ b/packages/decisions/usage/constants.ts
@@ -18,8 +18,5 @@
  */
 export const MAX_COLLECT_SHARE = 0.35;
 
-/** Limit of the customers that one daemon reports for one window. */
-export const MAX_REPORTED_CUSTOMERS = 2_000;
-
 /** Sources of counts that are kept for one window, above which new ones are ignored. */
 export const MAX_SOURCES = 2_000;
--- a/packages/gateway/requests/placeRequest.ts
+++ b/packages/gateway/requests/placeRequest.ts
@@ -113,9 +113,13 @@
   const criteria = buildCriteria(forwarding, inputs);
   const urgency = findUrgency(forwarding, context);
   const reserved = findReserve(forwarding, urgency, context);
-  const withRoom = candidates.filter((candidate) => hasRoom(candidate, criteria, reserved));
-  const roomy = placeAttempt(withRoom, criteria, inputs.random);
-  const candidate = roomy ?? placeAttempt(candidates, criteria, inputs.random);
+  const untriedWithRoom = candidates.filter(
+    (candidate) =>
+      !forwarding.tried.has(candidate.record.id) && hasRoom(candidate, criteria, reserved),
+  );
+  const candidate =
+    placeAttempt(untriedWithRoom, criteria, inputs.random) ??
+    placeAttempt(candidates, criteria, inputs.random);
   const { request } = forwarding;
   if (candidate === null) {
     const event = { to: 'requests', kind: 'placement-due', key: request.key } as const;
@@ -123,14 +127,14 @@
     removeWaiting(forwarding, context);
     return waitOrRefuse(forwarding, candidates, retryPlacement, context);
   }
-  const isCrowded = roomy === null || isBehind(forwarding, context);
+  const room = hasRoom(candidate, criteria, reserved) ? 'room' : 'crowded';
+  const isWaiting = room === 'crowded' || isBehind(forwarding, context);
   const waitUntil = getLastRoomAt(forwarding, urgency);
   // A running request may end soon and free room, whereas a preemption would delay one.
-  if (isCrowded && now < waitUntil) return waitForRoom(forwarding, waitUntil, context);
+  if (isWaiting && now < waitUntil) return waitForRoom(forwarding, waitUntil, context);
   if (isOverloaded(candidate, criteria)) return refuseOverloaded(forwarding, context);
   recordUse(forwarding, urgency, context);
   const { load, record } = candidate;
-  const room = roomy === null ? 'crowded' : 'room';
   const plan = { endpoint: record, load, candidates, copy: null, room } as const;
   return openAttempt(forwarding, plan, permit, context);
 };
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -112,7 +112,7 @@
   attemptsMade: 0,
   sends: 0,
   waitingPermit: null,
-  waitsForRoomUntil: null,
+  roomWait: null,
   possibleRuns: 0,
   notRunAttempts: 0,
   crashedEndpoints: 0,
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -6,6 +6,7 @@
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
 import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
+import type { WaitingRequest } from '../../decisions/forwarding/crowding.js';
 import type { FleetKnowledge } from '../../decisions/forwarding/fleetShare.js';
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
 import type { HolderState, ResumptionLimits } from '../../decisions/forwarding/resumption.js';
@@ -110,6 +111,14 @@
   readonly heldBytes: number;
 }
 
+/** Wait of a request for room in an engine. */
+export interface RoomWait {
+  /** Instant at which it is sent to a crowded engine all the same. */
+  readonly until: Millis;
+  /** What its turn depends on, as of the start of the wait. */
+  readonly waiting: WaitingRequest;
+}
+
 /** One request in flight; only the requests child updates it, in place. */
 export interface Forwarding {
   readonly request: ForwardRequest;
@@ -126,8 +135,8 @@
   sends: number;
   /** Permission with which the request waits for an endpoint; null while it does not wait. */
   waitingPermit: SendPermit | null;
-  /** Instant until which it waits for room in an engine; null while it does not. */
-  waitsForRoomUntil: Millis | null;
+  /** Its wait for room in an engine; null while it does not wait. */
+  roomWait: RoomWait | null;
   /** Number of ended attempts that may have run the request. */
   possibleRuns: number;
   /** Number of endpoints that crashed before they answered the request. */
--- a/packages/gateway/requests/waitingRoom.ts
+++ b/packages/gateway/requests/waitingRoom.ts
@@ -1,5 +1,5 @@
 import { MAX_PLACED_AT_ONCE, PLACEMENT_RETRY_MS } from './constants.js';
-import type { Effects, Forwarding, RequestsContext } from './types.js';
+import type { Effects, Forwarding, RequestsContext, RoomWait } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import { compareWaiting } from '../../decisions/forwarding/crowding.js';
 import type { WaitingRequest } from '../../decisions/forwarding/crowding.js';
@@ -22,11 +22,20 @@
   };
 };
 
-/** Lists the requests of a service that wait for room. */
-const listWaiting = (service: ServiceName, { state }: RequestsContext): readonly Forwarding[] =>
+/** A request that waits for room, and its wait. */
+interface WaitingForwarding {
+  readonly forwarding: Forwarding;
+  readonly wait: RoomWait;
+}
+
+const listWaiting = (
+  service: ServiceName,
+  { state }: RequestsContext,
+): readonly WaitingForwarding[] =>
   [...(state.waiting.get(service) ?? [])].flatMap((key) => {
     const forwarding = state.inFlight.get(key);
-    return forwarding?.waitsForRoomUntil == null ? [] : [forwarding];
+    const wait = forwarding?.roomWait ?? null;
+    return forwarding === undefined || wait === null ? [] : [{ forwarding, wait }];
   });
 
 /**
@@ -39,9 +48,9 @@
 export const isPreceded = (forwarding: Forwarding, context: RequestsContext): boolean => {
   const others = listWaiting(forwarding.service.name, context);
   if (others.length === 0) return false;
-  const own = describeWaiting(forwarding, context);
+  const own = forwarding.roomWait?.waiting ?? describeWaiting(forwarding, context);
   return others.some(
-    (other) => other !== forwarding && compareWaiting(describeWaiting(other, context), own) < 0,
+    (other) => other.forwarding !== forwarding && compareWaiting(other.wait.waiting, own) < 0,
   );
 };
 
@@ -82,8 +91,8 @@
 ): Effects => {
   const { name } = forwarding.service;
   const keys = context.state.waiting.get(name) ?? new Set<number>();
-  const isNew = forwarding.waitsForRoomUntil === null;
-  forwarding.waitsForRoomUntil = until;
+  const isNew = forwarding.roomWait === null;
+  forwarding.roomWait ??= { until, waiting: describeWaiting(forwarding, context) };
   keys.add(forwarding.request.key);
   context.state.waiting.set(name, keys);
   return [
@@ -102,7 +111,7 @@
   forwarding: Forwarding,
   { state }: Pick<RequestsContext, 'state'>,
 ): void => {
-  forwarding.waitsForRoomUntil = null;
+  forwarding.roomWait = null;
   const keys = state.waiting.get(forwarding.service.name);
   keys?.delete(forwarding.request.key);
   if (keys?.size === 0) state.waiting.delete(forwarding.service.name);
@@ -125,13 +134,11 @@
   const { inputs, state } = context;
   state.scheduledRooms.delete(service);
   const now = inputs.clock.now();
-  const ordered = listWaiting(service, context)
-    .map((forwarding) => ({ forwarding, waiting: describeWaiting(forwarding, context) }))
-    .sort((left, right) => compareWaiting(left.waiting, right.waiting));
-  const placed = ordered.flatMap(({ forwarding }, index) => {
-    const until = forwarding.waitsForRoomUntil;
-    const isTried = index < MAX_PLACED_AT_ONCE || (until !== null && until <= now);
-    return isTried ? place(forwarding) : [];
-  });
+  const ordered = [...listWaiting(service, context)].sort((left, right) =>
+    compareWaiting(left.wait.waiting, right.wait.waiting),
+  );
+  const placed = ordered.flatMap(({ forwarding, wait }, index) =>
+    index < MAX_PLACED_AT_ONCE || wait.until <= now ? place(forwarding) : [],
+  );
   return state.waiting.has(service) ? [...placed, ...scheduleRoom(service, context)] : placed;
 };
--- a/packages/gateway/usage/usageState.ts
+++ b/packages/gateway/usage/usageState.ts
@@ -1,4 +1,4 @@
-import type { HolderRecord, LeaseAppend } from './types.js';
+import type { LeaseAppend } from './types.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { ClockReading, ObservedLease, OwnLease } from '../../decisions/leases/lease.js';
 import type { FixedWindow, UsageTimes, WindowNumber } from '../../decisions/usage/types.js';
@@ -74,5 +74,3 @@
   /** Window of the present. */
   readonly current: WindowNumber;
 }
-
-export type { HolderRecord };
