--- a/packages/gateway/usage/usageFleet.fixture.ts
+++ b/packages/gateway/usage/usageFleet.fixture.ts
@@ -1,6 +1,7 @@
 import type { HolderRecord, LeaseAppend, LeaseSnapshot, UsageReport } from './types.js';
 import { createUsageLogic } from './usage.js';
 import type { UsageSettings, UsageState } from './usageState.js';
+import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { FixedWindow, WindowNumber } from '../../decisions/usage/types.js';
 import { createUsageTable } from '../../decisions/usage/usageTable.js';
@@ -256,6 +257,8 @@
       case 'silence-service':
         serviceSilentUntil = now + fault.steps * STEP_MS;
         return;
+      default:
+        assertNever(fault);
     }
   };
 
