--- a/app/listenerPlays.fixture.ts
+++ b/app/listenerPlays.fixture.ts
@@ -28,23 +28,55 @@
   /** Returns the largest resident memory so far in MB. */
   readonly readPeakMegabytes: () => number;
   readonly getOutput: () => string;
+  readonly processId: number;
   readonly stop: () => void;
 }
 
-const writeSettings = (folder: string, kind: DaemonKind): string => {
+/** Fields of the settings, by their paths, that share the stated memory. */
+const SHARED_FIELDS: Readonly<Record<DaemonKind, readonly (readonly string[])[]>> = {
+  entry: [],
+  endpoint: [
+    ['buffer', 'maxTotalBytes'],
+    ['answers', 'maxBytes'],
+  ],
+};
+
+/** Part of the memory that each shared field gets; they may have half of it together. */
+const FIELD_SHARE = 1 / 8;
+
+const listFields = (kind: DaemonKind, memoryBytes: number | null) => {
+  const ports = ADDRESSES[kind].map((name) => ({ path: [name, 'port'], value: 0 }));
+  if (memoryBytes === null) return ports;
+  const shared = SHARED_FIELDS[kind].map((path) => ({
+    path: [...path],
+    value: Math.floor(memoryBytes * FIELD_SHARE),
+  }));
+  return [...ports, ...shared, { path: ['memoryBytes'], value: memoryBytes }];
+};
+
+const writeSettings = (folder: string, kind: DaemonKind, memoryBytes: number | null): string => {
   const path = join(folder, 'settings.jsonc');
-  const text = ADDRESSES[kind].reduce(
-    (settings, name) => applyEdits(settings, modify(settings, [name, 'port'], 0, {})),
+  const text = listFields(kind, memoryBytes).reduce(
+    (settings, field) => applyEdits(settings, modify(settings, field.path, field.value, {})),
     readFileSync(`app/settings/${kind}.jsonc`, 'utf8'),
   );
   writeFileSync(path, text);
   return path;
 };
 
-/** Starts a daemon with its example settings, at free ports, and waits until it serves. */
-export const startLimitedDaemon = async (kind: DaemonKind): Promise<LimitedDaemon> => {
+/**
+ * Starts a daemon with its example settings, at free ports, and waits until it serves.
+ *
+ * @param kind - daemon
+ * @param memoryBytes - memory that its settings state; null for the default
+ * @returns the running daemon
+ */
+export const startLimitedDaemon = async (
+  kind: DaemonKind,
+  memoryBytes: number | null = null,
+): Promise<LimitedDaemon> => {
   const folder = mkdtempSync(join(tmpdir(), 'listeners-'));
-  const argv = [HEAP_FLAG, PROGRAM, 'run', kind, writeSettings(folder, kind)];
+  const argv = [HEAP_FLAG, PROGRAM, 'run', kind, writeSettings(folder, kind, memoryBytes)];
   const child = spawn(process.execPath, argv, { env: { ...process.env, NODE_ENV: 'production' } });
   let output = '';
   let life = 'runs';
@@ -80,6 +112,7 @@
       return Math.round(peak);
     },
     getOutput: () => output,
+    processId: child.pid ?? 0,
     stop: () => {
       child.kill('SIGKILL');
       rmSync(folder, { recursive: true, force: true });
