Join the chunks of a body before they reach the parser

Callers saw: while 400 connections sent bodies in chunks of one byte, the processor of the gateway was busy for over a minute, and others waited.

Cause: the parser calls back for each chunk, which costs some microseconds; six bytes on the wire are one callback. A limit on bytes in a turn does not bound that.

Change: the pacing reads the framing itself and hands on what has arrived as one chunk, in the buffer in which it was read. A malformed chunk becomes a size that the parser rejects, so that there is one reader of the framing. chunkedEnds, which looked for the end only, is gone.

--- a/packages/core/http/pacing/bodyFraming.ts
+++ b/packages/core/http/pacing/bodyFraming.ts
@@ -1,18 +1,12 @@
 import type { IncomingMessage } from 'node:http';
-import { createChunkedEndFinder } from './chunkedEnds.js';
-import type { ChunkedEndFinder } from './chunkedEnds.js';
+import { createChunkJoiner } from './chunkJoiner.js';
+import type { ChunkJoiner, JoinedPiece } from './chunkJoiner.js';
 import { assertNever } from '../../assertNever.js';
 
 /** How the end of a body is found. */
 export type BodyFraming =
   | { readonly kind: 'length'; leftBytes: number }
-  | { readonly kind: 'chunks'; readonly finder: ChunkedEndFinder };
-
-/**
- * Bytes of a body in chunks that are handed on in one step: the parser calls back for each chunk, and
- * a chunk may have one byte.
- */
-const MAX_CHUNKED_STEP_BYTES = 8 * 1024;
+  | { readonly kind: 'chunks'; readonly joiner: ChunkJoiner };
 
 /**
  * Takes the framing of a body from the head as the parser has read it.
@@ -23,27 +17,24 @@
 export const findFraming = ({ headers }: IncomingMessage): BodyFraming =>
   headers['transfer-encoding'] === undefined
     ? { kind: 'length', leftBytes: Number(headers['content-length'] ?? 0) }
-    : { kind: 'chunks', finder: createChunkedEndFinder() };
+    : { kind: 'chunks', joiner: createChunkJoiner() };
 
 /**
- * Counts the next bytes that belong to the body and are handed on in one step, and records them.
+ * Takes the next bytes of a body that are handed on in one step.
  *
  * @param framing - framing of the body, updated in place
- * @param bytes - bytes that follow those that were taken before
- * @returns number of bytes; 0 after the end of the body
+ * @param bytes - bytes that follow those that were taken before; those of chunks are overwritten
+ * @returns number of bytes that were taken, 0 after the end of the body, and what the parser gets for them
  */
-export const takeBody = (framing: BodyFraming, bytes: Buffer): number => {
+export const takeBody = (framing: BodyFraming, bytes: Buffer): JoinedPiece => {
   switch (framing.kind) {
     case 'length': {
-      const count = Math.min(framing.leftBytes, bytes.length);
-      framing.leftBytes -= count;
-      return count;
-    }
-    case 'chunks': {
-      const piece = bytes.subarray(0, MAX_CHUNKED_STEP_BYTES);
-      const end = framing.finder.find(piece);
-      return end === -1 ? piece.length : end;
+      const takenBytes = Math.min(framing.leftBytes, bytes.length);
+      framing.leftBytes -= takenBytes;
+      return { takenBytes, parts: [bytes.subarray(0, takenBytes)] };
     }
+    case 'chunks':
+      return framing.joiner.join(bytes);
     default:
       return assertNever(framing);
   }
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -222,7 +222,7 @@
     else phase = ANSWER;
   };
 
-  const handOnBytes = (bytes: Buffer): void => {
+  const handOnBytes = (bytes: Uint8Array): void => {
     stream.push(bytes);
     const next = getPhase();
     if (next.kind === 'body' && next.incoming.complete) finishBody();
@@ -273,16 +273,21 @@
     }
   };
 
-  const handOnBody = ({ bytes }: HeldChunk, { framing }: BodyPhase): void => {
-    const count = takeBody(framing, bytes);
-    if (count === 0) {
+  const handOnBody = ({ bytes }: HeldChunk, body: BodyPhase): void => {
+    const { parts, takenBytes } = takeBody(body.framing, bytes);
+    if (takenBytes === 0) {
       // The parser expects more than the head states, so the two disagree on where the request ends.
       endPhase();
       stream.destroy();
       return;
     }
     table.recordProgress(entry);
-    handOnBytes(held.take(count));
+    held.take(takenBytes);
+    for (const part of parts) {
+      // The parser may have ended the connection with the part before.
+      if (getPhase() !== body || stream.destroyed) return;
+      handOnBytes(part);
+    }
   };
 
   /** Hands on the next bytes, if the server takes any now. */
