Keep a third of the descriptors for connections to endpoints

Cause: the limit of the callers' connections, 4,000, knew the memory and the heap, not the descriptors; 200 of these are kept for files.

Change: the settings take over maxFds as maxDescriptors, and callers get two thirds of what is left beyond 200.

--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -4,6 +4,7 @@
 import { createCallerServer } from './callerServer.js';
 import type { CallerMemory } from './callerServer.js';
 import { createConnectionTracker } from './connections.js';
+import { MAX_CONNECTIONS } from './constants.js';
 import type { ConnectionTracker } from './connections.js';
 import type { GateState } from './gate.js';
 import { createResponders } from './responders.js';
@@ -257,6 +258,7 @@
     connections,
     headerCheckMs: 10,
     memory,
+    maxConnections: MAX_CONNECTIONS,
     isLate: () => lateness === 'late',
     postArrival: (request) => {
       requests.add(request);
--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -22,6 +22,7 @@
     clock: { now: () => 0 },
     connections,
     memory: { bodies: memory, requests: memory, connections: memory, unparsed: memory },
+    maxConnections: 10,
     responders: createResponders(connections, () => undefined, memory),
     isLate: () => false,
     postArrival: () => 'queued',
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -5,7 +5,6 @@
 import {
   DEFAULT_MAX_BODY_BYTES,
   LISTEN_BACKLOG,
-  MAX_CONNECTIONS,
   MAX_HEADER_BYTES,
   UNREADABLE_LINGER_MS,
 } from './constants.js';
@@ -35,6 +34,8 @@
   /** Interval of checking the header timeout; that of the HTTP server by default. */
   readonly headerCheckMs?: Millis;
   readonly memory: CallerMemory;
+  /** Limit of the open connections, whatever the memory. */
+  readonly maxConnections: number;
   /** Whether the daemon was busy or paused just now, so that its callers may have left meanwhile. */
   readonly isLate: () => boolean;
   readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
@@ -212,7 +213,7 @@
       });
     },
   );
-  const table = createConnectionTable(memory, MAX_CONNECTIONS, clock);
+  const table = createConnectionTable(memory, options.maxConnections, clock);
   const pacing = wirePacing(server, {
     clock,
     table,
--- a/packages/gateway/frontend/constants.ts
+++ b/packages/gateway/frontend/constants.ts
@@ -56,6 +56,12 @@
  */
 export const MAX_CONNECTIONS = 4_000;
 
+/** Descriptors that are no connections: the program's files, its output and its listeners. */
+export const FILE_DESCRIPTORS = 200;
+
+/** Share of the other descriptors that callers may take; the rest is for connections to endpoints. */
+export const CALLER_DESCRIPTOR_SHARE = 2 / 3;
+
 /** Time after the answer to bytes that are no request, in which the caller can read it. */
 export const UNREADABLE_LINGER_MS = 1_000;
 
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -26,6 +26,8 @@
   readonly store: StoreSettings;
   /** Memory above which the platform kills the process. */
   readonly memoryBytes: number;
+  /** Files, sockets and pipes that the process may have open. */
+  readonly maxDescriptors: number;
   /** How the use of the system is reported; null when it is not. */
   readonly usage: UsageSettings | null;
   readonly live: LiveSettings;
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -8,6 +8,7 @@
 import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
 import { computeResumptionLimits } from './feeds/pacing.js';
 import type { PacingInputs } from './feeds/pacing.js';
+import { computeMaxConnections } from './frontend/callerLimit.js';
 import { createCallerServer } from './frontend/callerServer.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import { createConnectionTracker } from './frontend/connections.js';
@@ -150,11 +151,10 @@
     responders: cradle.responders,
     connections: cradle.connections,
     memory: {
+      ...cradle.ports.memory.accounts,
       bodies: cradle.ports.memory.accounts['request-bodies'],
-      requests: cradle.ports.memory.accounts.requests,
-      connections: cradle.ports.memory.accounts.connections,
-      unparsed: cradle.ports.memory.accounts.unparsed,
     },
+    maxConnections: computeMaxConnections(cradle.settings.maxDescriptors),
     isLate: () => cradle.daemon.loop.isLate(),
     postArrival: (request) =>
       cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
