Accept waiting connections before input is handed on

Callers saw: an ordinary request beside 400 connections that send bodies of 4 MB was answered after 1.1 to 1.3 s, most of it before its connection was accepted; a slower machine takes longer than its deadline.

Cause: a listener accepts one connection in a turn of the loop, and input is handed on for 1 ms in each.

Change: a turn after an accepted connection hands on one step only, until none is accepted any more.

The test of the turn fails without it, since yieldTurn is new.

--- a/packages/core/http/pacing/pacedServer.ts
+++ b/packages/core/http/pacing/pacedServer.ts
@@ -36,6 +36,7 @@
   const serverListeners = server.listeners('connection');
   server.removeAllListeners('connection');
   server.on('connection', (socket: Socket) => {
+    options.turns.yieldTurn();
     const pacing = createRequestPacing(socket, options);
     if (pacing === null) {
       socket.on('error', () => undefined);
--- a/packages/core/loop/turnQueue.test.ts
+++ b/packages/core/loop/turnQueue.test.ts
@@ -70,3 +70,16 @@
   await runTurn();
   t.deepEqual(ran, ['failing', 'next']);
 });
+
+// Guards against new callers who wait behind the input of those before: each turn accepts one connection.
+test('a turn that is left to others runs one step', async (t) => {
+  const { createStep, queue, ran } = createTestQueue();
+  for (const name of ['a', 'b', 'c', 'd', 'e', 'f']) queue.run(createStep(name, TURN_STEPS_MS / 4));
+  t.deepEqual(ran, ['a', 'b', 'c', 'd']);
+  queue.run(createStep('g', TURN_STEPS_MS / 4));
+  queue.yieldTurn();
+  await runTurn();
+  t.deepEqual(ran, ['a', 'b', 'c', 'd', 'e']);
+  await runTurn();
+  t.deepEqual(ran, ['a', 'b', 'c', 'd', 'e', 'f', 'g']);
+});
--- a/packages/core/loop/turnQueue.ts
+++ b/packages/core/loop/turnQueue.ts
@@ -7,6 +7,11 @@
    * otherwise in a later turn, in the order in which the steps were added.
    */
   readonly run: (step: () => void) => void;
+  /**
+   * Leaves this turn to others, but for one step: a listener accepts one connection in a turn, and more may
+   * wait.
+   */
+  readonly yieldTurn: () => void;
   /** Counts the steps that wait for a later turn. */
   readonly countWaiting: () => number;
 }
@@ -29,16 +34,25 @@
   let turn: 'none' | 'open' = 'none';
   let endsAt: Millis = 0;
   let running: 'no' | 'yes' = 'no';
+  /** Whether the next turn is left to others. */
+  let next: 'full' | 'yielded' = 'full';
+
+  const runFirst = (): void => {
+    const [step] = waiting;
+    if (step === undefined) return;
+    waiting.delete(step);
+    step();
+  };
 
-  const runWaiting = (): void => {
+  const runInTime = (): void => {
+    while (waiting.size > 0 && now() < endsAt) runFirst();
+  };
+
+  const runSteps = (run: () => void): void => {
     if (running === 'yes') return;
     running = 'yes';
     try {
-      for (const step of waiting) {
-        if (now() >= endsAt) return;
-        waiting.delete(step);
-        step();
-      }
+      run();
     } finally {
       running = 'no';
     }
@@ -46,7 +60,8 @@
 
   const openTurn = (): void => {
     turn = 'open';
-    endsAt = now() + TURN_STEPS_MS;
+    endsAt = next === 'yielded' ? 0 : now() + TURN_STEPS_MS;
+    next = 'full';
     setImmediate(endTurn);
   };
 
@@ -54,14 +69,22 @@
     turn = 'none';
     if (waiting.size === 0) return;
     openTurn();
-    runWaiting();
+    // Work goes on however many connections are opened.
+    runSteps(() => {
+      runFirst();
+      runInTime();
+    });
   };
 
   return {
     run: (step) => {
       waiting.add(step);
       if (turn === 'none') openTurn();
-      runWaiting();
+      runSteps(runInTime);
+    },
+    yieldTurn: () => {
+      next = 'yielded';
+      endsAt = 0;
     },
     countWaiting: () => waiting.size,
   };
