Close connections with stalled bodies for the bodies of others

Callers saw: 240 connections with half-sent bodies filled the memory for bodies to within 600 bytes and stayed open; from then on each request with a body was refused.

Cause: bodies without new bytes gave way to heads, not to other bodies.

Change: a body without room waits for the connections whose bodies have had no new bytes for a second to be closed, one in a turn of the loop; without one it is refused as before. The entry daemon shares the reader.

--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -49,7 +49,7 @@
   /** Records that bytes of a body have arrived. */
   readonly recordProgress: (entry: TableEntry) => void;
   /** Closes the connection whose body has been without new bytes for longest, if it is stalled. */
-  readonly closeStalled: () => void;
+  readonly closeStalled: () => 'closed' | 'none';
   /** Closes the connections that wait for a further request, or whose last answer has been written. */
   readonly closeIdle: () => void;
   /**
@@ -211,7 +211,9 @@
     },
     closeStalled: () => {
       const entry = findOlder('receiving', STALLED_BODY_MS);
-      if (entry !== null) close(entry);
+      if (entry === null) return 'none';
+      close(entry);
+      return 'closed';
     },
     closeIdle: () => {
       // Line ends before a request also count as the begin of a head.
--- a/packages/core/http/pacing/pacedListener.ts
+++ b/packages/core/http/pacing/pacedListener.ts
@@ -21,6 +21,8 @@
   readonly checkRoom: (incoming: IncomingMessage) => 'reserved' | 'refused';
   /** Counts the connections with a request that was read whole, and whose answer is due. */
   readonly countDue: () => number;
+  /** Closes the connection whose body has been without new bytes for longest, if it is stalled. */
+  readonly closeStalled: () => 'closed' | 'none';
 }
 
 const DEFAULT_BYTES = 32 * 1024 * 1024;
@@ -63,5 +65,6 @@
     checkRoom: (incoming) =>
       'heldBytes' in incoming.socket ? pacing.getArrival(incoming).room : 'reserved',
     countDue: table.countDue,
+    closeStalled: table.closeStalled,
   };
 };
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -112,7 +112,6 @@
   const { maxBodyBytes, maxTotalBodyBytes } = settings.limits;
   const { memory = { ...createListenerMemory(), bodies: createMemoryAccount(maxTotalBodyBytes) } } =
     options;
-  const bodies = createRequestBodies(memory.bodies, maxBodyBytes);
   const server = fastify({
     bodyLimit: maxBodyBytes,
     forceCloseConnections: 'idle',
@@ -120,6 +119,7 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
   });
   const listener = createPacedListener(server.server, clock, memory);
+  const bodies = createRequestBodies(memory.bodies, maxBodyBytes, listener.closeStalled);
   server.removeAllContentTypeParsers();
   const responses = new WeakMap<IncomingMessage, ServerResponse>();
   server.addHook('onRequest', (request, reply, done) => {
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -129,7 +129,8 @@
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { codec, clock, connections, responders } = options;
   const { memory } = options;
-  const bodies = createRequestBodies(memory.bodies, DEFAULT_MAX_BODY_BYTES);
+  const table = createConnectionTable(memory, options.maxConnections, clock);
+  const bodies = createRequestBodies(memory.bodies, DEFAULT_MAX_BODY_BYTES, table.closeStalled);
   const idleConnections = createIdleConnections(connections.recordIdleClose);
   let nextKey = 1;
 
@@ -213,7 +214,6 @@
       });
     },
   );
-  const table = createConnectionTable(memory, options.maxConnections, clock);
   const pacing = wirePacing(server, {
     clock,
     table,
