--- a/packages/gateway/main.ts
+++ b/packages/gateway/main.ts
@@ -1,3 +1,4 @@
+import type { EndReason, GatewayCradle, GatewayPorts } from './cradle.js';
 import { createStatusServer } from './frontend/statusServer.js';
 import type { StatusPage } from './frontend/statusServer.js';
 import { watchIdleMemory } from './idleMemory.js';
@@ -7,7 +8,6 @@
 import { openAddress } from '../core/openAddress.js';
 import { createFailure } from '../core/verdict.js';
 import { wireGateway } from './wiring.js';
-import type { EndReason, GatewayCradle, GatewayPorts } from './wiring.js';
 
 /** A gateway daemon that serves until it is stopped. */
 export interface RunningGateway {
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -4,6 +4,7 @@
 import { createConfigurationLogic } from './configuration/configuration.js';
 import { createEndpointClient } from './endpoints/endpointClient.js';
 import type { EndpointClient } from './endpoints/endpointClient.js';
+import type { EndReason, GatewayCradle, GatewayPorts } from './cradle.js';
 import type { GatewayEffect, GatewayEvent } from './events.js';
 import { createFeedsLogic, isFeedStale } from './feeds/feeds.js';
 import { computeResumptionLimits } from './feeds/pacing.js';
@@ -33,38 +34,26 @@
 import type { PeerSocket } from './peers/peerSocket.js';
 import { createQuarantineLogic } from './quarantine/quarantine.js';
 import { createQuarantineWrites } from './quarantine/writes.js';
-import type { QuarantineStore } from './quarantine/types.js';
 import { createStringHash, hashContent } from './hashes.js';
 import { performEffect } from './perform.js';
 import { reportFullMemory } from './fullMemory.js';
-import type { GatewayMemory } from './memory.js';
 import { listOwnLoad, listOwnTransfers, listSingleRunEndpoints } from './requests/load.js';
 import { createRequestsLogic } from './requests/requests.js';
 import { findStatements } from './statements/incarnations.js';
 import type { StatedIncarnations } from './statements/incarnations.js';
 import { createStatementsLogic, hasNews, listStatedLeaving } from './statements/statements.js';
 import { createUsageLogic } from './usage/usage.js';
-import type { LeaseLog, UsageService } from './usage/types.js';
 import { CANDIDATE_COUNT } from './usage/constants.js';
 import { createGatewaySupervisor } from './supervisor.js';
 import type { GatewayLogics, GatewayStates } from './supervisor.js';
-import type {
-  EngineControl,
-  FeedReader,
-  GatewaySettings,
-  HeadCodec,
-  LiveSettings,
-} from './types.js';
+import type { GatewaySettings } from './types.js';
 import { createSystemClock, createWallClock } from '../core/clock.js';
-import type { Clock, Millis } from '../core/clock.js';
 import { createEventLog } from '../core/events/eventLog.js';
 import type { EventLog } from '../core/events/eventLog.js';
 import { createLineWriter } from '../core/events/lineWriter.js';
 import { createId } from '../core/ids.js';
 import { createDeferredMetrics } from '../core/metrics/deferredMetrics.js';
-import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createRandomSource } from '../core/random.js';
-import type { RandomSource } from '../core/random.js';
 import { createDaemon } from '../core/supervision/daemon.js';
 import type { Daemon } from '../core/supervision/daemon.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
@@ -74,47 +63,6 @@
 import { checkContent } from '../decisions/quarantine/crashEvidence.js';
 import { createUsageTable } from '../decisions/usage/usageTable.js';
 
-/** Why a daemon ends: its drain is over, or an error escaped the supervisor tree. */
-export type EndReason =
-  | { readonly kind: 'drained'; readonly left: number }
-  | { readonly kind: 'fault'; readonly error: unknown };
-
-/** Adapters to the platform on which a gateway daemon runs. */
-export interface GatewayPorts {
-  readonly codec: HeadCodec;
-  readonly feeds: FeedReader;
-  readonly engines: EngineControl;
-  readonly quarantines: QuarantineStore;
-  readonly leases: LeaseLog;
-  readonly usage: UsageService;
-  /** Owner of the memory that others can fill, which the adapters share. */
-  readonly memory: GatewayMemory;
-}
-
-/** Parts of a gateway daemon, by their names in the container. */
-export interface GatewayCradle {
-  readonly settings: GatewaySettings;
-  readonly ports: GatewayPorts;
-  readonly onEnd: (reason: EndReason) => void;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly incarnation: string;
-  /** Live settings; `current` is replaced when the settings file changes. */
-  readonly live: { current: LiveSettings };
-  /** Instant at which the daemon was ordered to stop; null before. */
-  readonly stopOrder: { at: Millis | null };
-  readonly states: GatewayStates;
-  readonly events: EventLog;
-  readonly metrics: DeferredMetrics;
-  readonly connections: ConnectionTracker;
-  readonly responders: Responders;
-  readonly callers: CallerServer;
-  readonly endpoints: EndpointClient;
-  readonly peers: PeerSocket;
-  readonly logics: GatewayLogics;
-  readonly daemon: Daemon<GatewayEvent>;
-}
-
 const SEED_RANGE = 2 ** 31;
 
 const buildEvents = ({ settings, incarnation, clock }: GatewayCradle): EventLog =>
