Read no body of a request that its head alone refuses

Callers saw: bodies of callers without a key, and bodies for the readiness path or for no route, took the memory of the bodies of others, and the answer, 401 or 404, came only after the whole body.

Cause: a gateway read each body before it looked at the route and the key.

Change: a request with a body whose route or key is unknown is posted without it, and the same decision refuses it. If the configuration has changed in between, it is refused as not run.

--- a/packages/core/http/requestBodies.ts
+++ b/packages/core/http/requestBodies.ts
@@ -49,6 +49,15 @@
   return Number.isFinite(length) ? length : 0;
 };
 
+/**
+ * Reports whether a request has a body, by its head.
+ *
+ * @param incoming - request
+ * @returns whether bytes of a body follow its head
+ */
+export const hasBody = (incoming: IncomingMessage): boolean =>
+  incoming.headers['transfer-encoding'] !== undefined || readStatedLength(incoming) > 0;
+
 /** Closes a connection whose body has been without new bytes for a while; its memory is released soon. */
 export type CloseStalled = () => 'closed' | 'none';
 
--- a/packages/entry/frontend/callerServer.ts
+++ b/packages/entry/frontend/callerServer.ts
@@ -14,7 +14,7 @@
 import type { Clock } from '../../core/clock.js';
 import { createListenerMemory, createPacedListener } from '../../core/http/pacing/pacedListener.js';
 import type { ListenerMemory } from '../../core/http/pacing/pacedListener.js';
-import { createRequestBodies } from '../../core/http/requestBodies.js';
+import { createRequestBodies, hasBody } from '../../core/http/requestBodies.js';
 import type { RequestBodies } from '../../core/http/requestBodies.js';
 import { createId } from '../../core/ids.js';
 import type { ModelName } from '../../core/ids.js';
@@ -79,9 +79,6 @@
 const isResume = (request: FastifyRequest): boolean =>
   getHeader(request, 'last-event-id') !== undefined;
 
-const hasBody = ({ headers }: FastifyRequest): boolean =>
-  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-
 const toBytes = (body: unknown): Uint8Array => (body instanceof Buffer ? body : new Uint8Array());
 
 const readIdempotencyKey = (request: FastifyRequest) =>
@@ -125,7 +122,8 @@
   server.addHook('onRequest', (request, reply, done) => {
     responses.set(request.raw, reply.raw);
     if (listener.checkRoom(request.raw) === 'refused') refuseUnread(request, reply, NO_ROOM);
-    else if (hasBody(request) && !hasKey(request)) refuseUnread(request, reply, getNoKey(request));
+    else if (hasBody(request.raw) && !hasKey(request))
+      refuseUnread(request, reply, getNoKey(request));
     else done();
   });
   server.addContentTypeParser('*', async ({ raw }: FastifyRequest) =>
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -169,7 +169,11 @@
 );
 
 export type RequestsEvent = { readonly to: 'requests' } & (
-  | { readonly kind: 'request-arrived'; readonly request: ForwardRequest }
+  | {
+      readonly kind: 'request-arrived';
+      readonly request: ForwardRequest;
+      readonly body: BodyState;
+    }
   | { readonly kind: 'caller-disconnected'; readonly key: number }
   | {
       readonly kind: 'answer-started';
@@ -230,8 +234,15 @@
   | { readonly kind: 'endpoint-leaving'; readonly endpoint: EndpointId }
 );
 
+/** Whether a request was read whole; the body of one that is to be refused is not read. */
+export type BodyState = 'whole' | 'unread';
+
 export type FrontendEvent = { readonly to: 'frontend' } & (
-  | { readonly kind: 'caller-arrived'; readonly request: ForwardRequest }
+  | {
+      readonly kind: 'caller-arrived';
+      readonly request: ForwardRequest;
+      readonly body: BodyState;
+    }
   | { readonly kind: 'drain-started' }
   /** `reads` tells whether all that arrived before the check was due has been read. */
   | { readonly kind: 'drain-checked'; readonly reads: 'due' | 'done' }
--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -62,6 +62,8 @@
   /** Counted ends of connections, each as `cause phase`. */
   readonly counted: readonly string[];
   readonly perform: (effect: GatewayEffect) => void;
+  /** Makes requests of an id ones that are refused by their head. */
+  readonly refuseHead: (id: string) => void;
   readonly setVersion: (version: number) => void;
   readonly setGate: (state: GateState) => void;
   /** Makes the daemon late, as after a pause. */
@@ -243,6 +245,7 @@
       counts.add(`${cause} ${phase}`);
     },
   });
+  const refused = new Set<string>();
   const unreadMemory = createMemoryAccount(MAX_UNREAD_BYTES);
   const responders = createResponders(connections, () => undefined, unreadMemory);
   const callers = createCallerServer({
@@ -260,6 +263,7 @@
     memory,
     maxConnections: MAX_CONNECTIONS,
     isLate: () => lateness === 'late',
+    isRefused: (head) => refused.has(head.id),
     postArrival: (request) => {
       requests.add(request);
       return 'queued';
@@ -294,6 +298,9 @@
     perform: (effect) => {
       performEffect(effect, adapters);
     },
+    refuseHead: (id) => {
+      refused.add(id);
+    },
     setVersion: (next) => {
       version = next;
     },
--- a/packages/gateway/frontend/callerServer.test.ts
+++ b/packages/gateway/frontend/callerServer.test.ts
@@ -25,6 +25,7 @@
     maxConnections: 10,
     responders: createResponders(connections, () => undefined, memory),
     isLate: () => false,
+    isRefused: () => false,
     postArrival: () => 'queued',
     postDisconnect: () => undefined,
     onFault: (error) => {
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -14,7 +14,7 @@
 import { createRequestRoom } from '../../core/http/pacing/requestRoom.js';
 import type { Responders } from './responders.js';
 import type { ConnectionEndCause } from './types.js';
-import { createRequestBodies } from '../../core/http/requestBodies.js';
+import { createRequestBodies, hasBody } from '../../core/http/requestBodies.js';
 import { openListener } from '../../core/openAddress.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { createTurnQueue } from '../../core/loop/turnQueue.js';
@@ -24,7 +24,8 @@
 import type { Failure } from '../../core/verdict.js';
 import type { EndpointAddress, ForwardRequest } from '../../decisions/forwarding/types.js';
 import { hasValidNames, isValidTarget } from '../headSyntax.js';
-import type { HeadCodec } from '../types.js';
+import type { BodyState } from '../events.js';
+import type { CallerHead, HeadCodec } from '../types.js';
 
 export interface CallerServerOptions {
   readonly codec: HeadCodec;
@@ -38,7 +39,9 @@
   readonly maxConnections: number;
   /** Whether the daemon was busy or paused just now, so that its callers may have left meanwhile. */
   readonly isLate: () => boolean;
-  readonly postArrival: (request: ForwardRequest) => 'queued' | 'shed';
+  /** Whether a request will be refused whatever its body, since its route or its key is unknown. */
+  readonly isRefused: (head: CallerHead) => boolean;
+  readonly postArrival: (request: ForwardRequest, body: BodyState) => 'queued' | 'shed';
   readonly postDisconnect: (key: number) => void;
   /** Receives an unexpected error, which ends one request. */
   readonly onFault: (error: unknown) => void;
@@ -114,6 +117,14 @@
     });
   });
 
+/**
+ * Keeps the connection of a refused request open for the rest of its body: to close it with unread bytes
+ * resets it, and the caller may lose the answer.
+ */
+const holdOpenForRest = (response: ServerResponse): void => {
+  if (!response.req.complete) response.shouldKeepAlive = true;
+};
+
 const runOnceClosed = (response: ServerResponse, run: () => void): void => {
   if (response.closed) run();
   else response.once('close', run);
@@ -134,15 +145,16 @@
   const idleConnections = createIdleConnections(connections.recordIdleClose);
   let nextKey = 1;
 
-  /**
-   * Refuses a request whose body has not been read. The connection stays open for the rest of the body:
-   * to close it with unread bytes resets it, and the caller may lose the answer.
-   */
+  /** Refuses a request whose body has not been read. */
   const refuseUnread = (key: number, response: ServerResponse, failure: Failure): void => {
-    if (!response.req.complete) response.shouldKeepAlive = true;
+    holdOpenForRest(response);
     responders.refuse(key, failure);
   };
 
+  const post = (request: ForwardRequest, body: BodyState): void => {
+    if (options.postArrival(request, body) === 'shed') responders.refuse(request.key, QUEUE_FULL);
+  };
+
   const accept = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { receivedAt, room } = pacing.getArrival(incoming);
     const head = codec.decodeCaller(
@@ -166,6 +178,11 @@
       refuseUnread(key, response, TOO_MANY_REQUESTS);
       return;
     }
+    if (hasBody(incoming) && options.isRefused(head)) {
+      holdOpenForRest(response);
+      post({ ...head, key, body: [], receivedAt }, 'unread');
+      return;
+    }
     const result = await bodies.read(incoming);
     switch (result.kind) {
       case 'broken':
@@ -190,8 +207,7 @@
     response.on('close', () => {
       if (responders.has(key)) options.postDisconnect(key);
     });
-    const request: ForwardRequest = { ...head, key, body: result.body, receivedAt };
-    if (options.postArrival(request) === 'shed') responders.refuse(key, QUEUE_FULL);
+    post({ ...head, key, body: result.body, receivedAt }, 'whole');
   };
 
   /** Answers bytes that are no request; a caller that does not close its connection then has it closed. */
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -168,7 +168,12 @@
       case 'caller-arrived':
         return toStep<GateState, GatewayEffect>(state, {
           kind: 'post',
-          event: { to: 'requests', kind: 'request-arrived', request: event.request },
+          event: {
+            to: 'requests',
+            kind: 'request-arrived',
+            request: event.request,
+            body: event.body,
+          },
         });
       case 'drain-started': {
         if (state.phase !== 'accepting') return toStep<GateState, GatewayEffect>(state);
--- a/packages/gateway/frontend/requestBodies.test.ts
+++ b/packages/gateway/frontend/requestBodies.test.ts
@@ -94,3 +94,27 @@
   const chunked = await server.waitForRequest('b');
   t.is(Buffer.concat(chunked.body).toString(), 'abcdef');
 });
+
+// Guards against callers without a key, or for no route, whose bodies take the memory of others.
+test('a body is not kept for a request that is refused by its head', async (t) => {
+  const server = await startCallerServer(t);
+  server.refuseHead('a');
+  server.openCaller().send(formatRequest('a', LARGE_BODY, LARGE_BODY.length + 1));
+  const { body, key } = await server.waitForRequest('a');
+  t.deepEqual(body, []);
+  const failure = { verdict: 'not-run', code: 'unauthorized', message: 'none' } as const;
+  server.perform({ kind: 'refuse', key, failure });
+  t.is(server.memory.bodies.getReserved(), 0);
+});
+
+// Guards against half-sent bodies that keep the room of others for as long as their callers like.
+test('a stalled body gives its room to others', async (t) => {
+  const server = await startCallerServer(t);
+  const stalled = server.openCaller();
+  stalled.send(formatRequest('a', LARGE_BODY, LARGE_BODY.length + 1));
+  while (server.memory.bodies.getReserved() < LARGE_BODY.length) await new Promise(setImmediate);
+  server.clock.advance(1_000);
+  server.openCaller().send(formatRequest('b', LARGE_BODY));
+  t.is(sumLengths((await server.waitForRequest('b')).body), LARGE_BODY.length);
+  await stalled.waitForClose();
+});
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -240,7 +240,7 @@
         ...change,
       };
       nextKey += 1;
-      return post({ to: 'requests', kind: 'request-arrived', request });
+      return post({ to: 'requests', kind: 'request-arrived', request, body: 'whole' });
     },
     wait: (duration) => {
       const end = clock.now() + duration;
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -34,7 +34,7 @@
 import { admitFirstSend } from '../../decisions/forwarding/sendPermits.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect, RequestsEvent } from '../events.js';
+import type { BodyState, GatewayEffect, RequestsEvent } from '../events.js';
 
 const refuseArrival = (
   request: ForwardRequest,
@@ -128,7 +128,11 @@
   lastDeliveredAt: request.receivedAt,
 });
 
-const admitRequest = (request: ForwardRequest, context: RequestsContext): Effects => {
+const admitRequest = (
+  request: ForwardRequest,
+  body: BodyState,
+  context: RequestsContext,
+): Effects => {
   const { inputs, state } = context;
   const table = inputs.getRoutingTable();
   if (table === null) return refuseUnready(request, 'no configuration has been loaded yet', inputs);
@@ -151,6 +155,8 @@
     default:
       return assertNever(found);
   }
+  // The configuration has changed since it was decided not to read the body.
+  if (body === 'unread') return refuseUnready(request, 'the body has not been read', inputs);
   const { customer, route } = found;
   if (isTooLongForDrain(route, request, inputs)) {
     const retryAfterMs = DRAIN_RETRY_AFTER_MS;
@@ -247,7 +253,7 @@
 };
 
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
-  if (event.kind === 'request-arrived') return admitRequest(event.request, context);
+  if (event.kind === 'request-arrived') return admitRequest(event.request, event.body, context);
   if (event.kind === 'room-due') return placeWaiting(event.service, context);
   if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
--- a/packages/gateway/statements/statedFleet.fixture.ts
+++ b/packages/gateway/statements/statedFleet.fixture.ts
@@ -295,6 +295,7 @@
         lastEventId: null,
         receivedAt: clock.now(),
       },
+      body: 'whole',
     });
   };
 
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -58,6 +58,7 @@
 import type { Daemon } from '../core/supervision/daemon.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import type { ChildFailure } from '../core/supervision/types.js';
+import { findRoute } from '../decisions/forwarding/routing.js';
 import { hasWish } from '../decisions/forwarding/rest.js';
 import { chooseByRendezvous } from '../decisions/membership/rendezvous.js';
 import { checkContent } from '../decisions/quarantine/crashEvidence.js';
@@ -104,8 +105,12 @@
     },
     maxConnections: computeMaxConnections(cradle.settings.maxDescriptors),
     isLate: () => cradle.daemon.loop.isLate(),
-    postArrival: (request) =>
-      cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request }),
+    isRefused: (head) => {
+      const { table } = cradle.states.configuration;
+      return table !== null && findRoute(table, head).kind !== 'routed';
+    },
+    postArrival: (request, body) =>
+      cradle.daemon.loop.post({ to: 'frontend', kind: 'caller-arrived', request, body }),
     postDisconnect: (key) => {
       cradle.responders.remove(key);
       cradle.daemon.loop.post({ to: 'requests', kind: 'caller-disconnected', key });
