Close the connection of a refused body that has no end

Callers saw: nothing by itself, but each refused body was read for as long as its caller sent, also beyond the size limit of bodies, which takes the processor from others.

Cause: the rest of a refused body is read so that its caller gets the answer; nothing ended that.

Change: once a body whose request has been answered exceeds the size limit of bodies, without its framing, the connection is closed as endless-body. That limit is maxBodyBytes, which clients inside the limits of the pages keep; the pages about the daemon allow 64 KB, since none of them needs a body.

Evidence: the test of it does not end without the check (the connection stays open).

--- a/packages/core/http/pacing/bodyFraming.ts
+++ b/packages/core/http/pacing/bodyFraming.ts
@@ -31,7 +31,7 @@
     case 'length': {
       const takenBytes = Math.min(framing.leftBytes, bytes.length);
       framing.leftBytes -= takenBytes;
-      return { takenBytes, parts: [bytes.subarray(0, takenBytes)] };
+      return { takenBytes, bodyBytes: takenBytes, parts: [bytes.subarray(0, takenBytes)] };
     }
     case 'chunks':
       return framing.joiner.join(bytes);
--- a/packages/core/http/pacing/chunkJoiner.ts
+++ b/packages/core/http/pacing/chunkJoiner.ts
@@ -5,6 +5,8 @@
 export interface JoinedPiece {
   /** Bytes of the piece that belong to the body; those behind them follow the request. */
   readonly takenBytes: number;
+  /** Those of them that are no framing. */
+  readonly bodyBytes: number;
   /** Bytes for the parser, in order. */
   readonly parts: readonly Uint8Array[];
 }
@@ -52,6 +54,8 @@
 /** No size of a chunk begins so: the parser ends the request as unreadable. */
 const INVALID_SIZE = Buffer.from('!');
 
+const NOTHING: JoinedPiece = { takenBytes: 0, bodyBytes: 0, parts: [] };
+
 /** Value of a digit of a size by its byte; -1 for other bytes. */
 const DIGITS = Array.from({ length: 256 }, (_, byte) => {
   const value = Number.parseInt(String.fromCharCode(byte), HEX_BASE);
@@ -193,13 +197,14 @@
 
   return {
     join: (bytes) => {
-      if (phase === 'ended' || phase === 'invalid') return { takenBytes: 0, parts: [] };
+      if (phase === 'ended' || phase === 'invalid') return NOTHING;
       const wasInChunks = isInChunks();
       const { moved, read } = joinData(bytes);
       const parts: Uint8Array[] = [];
       if (moved > 0) parts.push(formatSize(moved), bytes.subarray(0, moved), LINE_END);
-      if (isInvalid()) return { takenBytes: bytes.length, parts: [...parts, INVALID_SIZE] };
-      if (isInChunks()) return { takenBytes: read, parts };
+      if (isInvalid())
+        return { takenBytes: bytes.length, bodyBytes: moved, parts: [...parts, INVALID_SIZE] };
+      if (isInChunks()) return { takenBytes: read, bodyBytes: moved, parts };
       if (wasInChunks) {
         parts.push(LAST_CHUNK);
         // The line end of the last size is a part of the empty line.
@@ -207,7 +212,7 @@
       }
       const trailers = takeTrailers(bytes.subarray(read));
       if (trailers.length > 0) parts.push(trailers);
-      return { takenBytes: read + trailers.length, parts };
+      return { takenBytes: read + trailers.length, bodyBytes: moved, parts };
     },
   };
 };
--- a/packages/core/http/pacing/pacedListener.ts
+++ b/packages/core/http/pacing/pacedListener.ts
@@ -25,6 +25,12 @@
   readonly closeStalled: () => 'closed' | 'none';
 }
 
+/**
+ * Size limit of a body that is read on although its request has been answered. The daemons with such
+ * listeners end a connection with the refusal of its body.
+ */
+const MAX_REST_BYTES = 1024 * 1024;
+
 const DEFAULT_BYTES = 32 * 1024 * 1024;
 
 /**
@@ -58,7 +64,8 @@
     room: createRequestRoom(memory.requests, clock, table.closeStalled),
     turns: createTurnQueue(),
     onConnection: () => undefined,
-    onNoRoom: () => undefined,
+    getMaxBodyBytes: () => MAX_REST_BYTES,
+    onClose: () => undefined,
   });
   return {
     // A request that came over no connection is one of a test.
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { findFraming, takeBody } from './bodyFraming.js';
-import type { BodyFraming } from './bodyFraming.js';
 import type { ConnectionPlace, ConnectionTable } from './connectionTable.js';
 import { REQUEST_OVERHEAD_BYTES, STRING_OVERHEAD_BYTES } from './constants.js';
 import { createHeldBytes } from './heldBytes.js';
@@ -9,6 +8,8 @@
 import { countLines, createEmptyLineFinder, isBlank } from './messageEnds.js';
 import { createPacedStream } from './pacedStream.js';
 import type { PacedStream } from './pacedStream.js';
+import { ANSWER, BETWEEN, ENDED, HEAD } from './pacingPhase.js';
+import type { AskingPhase, BodyPhase, PacingPhase } from './pacingPhase.js';
 import type { RequestRoom, RoomResult } from './requestRoom.js';
 import { assertNever } from '../../assertNever.js';
 import type { Clock, Millis } from '../../clock.js';
@@ -35,14 +36,23 @@
   readonly getArrival: () => PacedArrival;
 }
 
+/** Why a connection is closed by its pacing. */
+export type PacingCloseCause =
+  /** Its room was needed for others. */
+  | 'no-room'
+  /** The body of an answered request is longer than any body may be. */
+  | 'endless-body';
+
 export interface PacingOptions {
   readonly clock: Clock;
   readonly table: ConnectionTable;
   readonly room: RequestRoom;
   /** Steps in which the bytes of all connections of the listener are handed on. */
   readonly turns: TurnQueue;
-  /** Called before a connection is closed because there is no room for it. */
-  readonly onNoRoom: (stream: PacedStream) => void;
+  /** Returns the size limit of a body, also of one whose request has been answered. */
+  readonly getMaxBodyBytes: () => number;
+  /** Called before a connection is closed by its pacing. */
+  readonly onClose: (stream: PacedStream, cause: PacingCloseCause) => void;
 }
 
 /** Memory of held bytes above which a connection is not read on, so that its sender waits. */
@@ -51,29 +61,6 @@
 /** Name and value of a header are two strings. */
 const STRINGS_PER_LINE = 2;
 
-/** Where a connection is in the series of its requests. */
-type PacingPhase =
-  /** Bytes of the next head are handed on as they arrive. */
-  | { readonly kind: 'head' }
-  /** The first `end` bytes that are held complete a head, which waits for memory. */
-  | { readonly kind: 'asking'; readonly end: number; result: RoomResult | null; cancel: () => void }
-  /** The body is handed on, up to its length or the end of its chunks. */
-  | { readonly kind: 'body'; readonly incoming: IncomingMessage; readonly framing: BodyFraming }
-  /** The request has been read whole, and its answer is due. */
-  | { readonly kind: 'answer' }
-  /** The event loop reads once, so that the end of the connection is noticed before the next head. */
-  | { readonly kind: 'between' }
-  /** Nothing more is handed on; what arrives is dropped. */
-  | { readonly kind: 'ended' };
-
-type AskingPhase = Extract<PacingPhase, { kind: 'asking' }>;
-type BodyPhase = Extract<PacingPhase, { kind: 'body' }>;
-
-const HEAD: PacingPhase = { kind: 'head' };
-const ANSWER: PacingPhase = { kind: 'answer' };
-const BETWEEN: PacingPhase = { kind: 'between' };
-const ENDED: PacingPhase = { kind: 'ended' };
-
 /** Estimates what the parser makes of a head, or of a part of one. */
 const estimateHead = (bytes: number, lines: number): number =>
   bytes + lines * STRINGS_PER_LINE * STRING_OVERHEAD_BYTES;
@@ -129,11 +116,15 @@
     held.limitTo(0);
   };
 
-  const closeWithoutRoom = (): void => {
-    options.onNoRoom(stream);
+  const close = (cause: PacingCloseCause): void => {
+    options.onClose(stream, cause);
     stream.destroy();
   };
 
+  const closeWithoutRoom = (): void => {
+    close('no-room');
+  };
+
   /** Drops the bytes behind a request that has been read whole, which becomes the last one. */
   const dropHeld = (): void => {
     switch (phase.kind) {
@@ -274,13 +265,18 @@
   };
 
   const handOnBody = ({ bytes }: HeldChunk, body: BodyPhase): void => {
-    const { parts, takenBytes } = takeBody(body.framing, bytes);
+    const { bodyBytes, parts, takenBytes } = takeBody(body.framing, bytes);
     if (takenBytes === 0) {
       // The parser expects more than the head states, so the two disagree on where the request ends.
       endPhase();
       stream.destroy();
       return;
     }
+    body.bytes += bodyBytes;
+    if (due === null && body.bytes > options.getMaxBodyBytes()) {
+      close('endless-body');
+      return;
+    }
     table.recordProgress(entry);
     held.take(takenBytes);
     for (const part of parts) {
@@ -381,7 +377,7 @@
     stream,
     beginRequest: (incoming, response) => {
       due = response;
-      phase = { kind: 'body', incoming, framing: findFraming(incoming) };
+      phase = { kind: 'body', incoming, framing: findFraming(incoming), bytes: 0 };
       if (order === 'last') response.shouldKeepAlive = false;
       response.once('close', finishAnswer);
     },
--- a/packages/core/http/requestBodies.ts
+++ b/packages/core/http/requestBodies.ts
@@ -18,6 +18,8 @@
 /** Reads the bodies of requests, within a limit of all that are kept. */
 export interface RequestBodies {
   readonly read: (incoming: IncomingMessage) => Promise<BodyResult>;
+  /** Returns the size limit of one body. */
+  readonly getMaxBodyBytes: () => number;
   /** Sets the size limit of one body. */
   readonly setMaxBodyBytes: (maxBodyBytes: number) => void;
 }
@@ -166,6 +168,7 @@
 
   return {
     read,
+    getMaxBodyBytes: () => maxBodyBytes,
     setMaxBodyBytes: (next) => {
       maxBodyBytes = next;
     },
--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -236,9 +236,8 @@
     room: createRequestRoom(memory.requests, clock, table.closeStalled),
     turns: createTurnQueue(),
     onConnection: connections.trackConnection,
-    onNoRoom: (stream) => {
-      connections.recordSocketCause(stream, 'no-room');
-    },
+    getMaxBodyBytes: bodies.getMaxBodyBytes,
+    onClose: connections.recordSocketCause,
   });
   // With this listener, the HTTP server does not close the connection by itself.
   server.on('timeout', idleConnections.handleTimeout);
--- a/packages/gateway/frontend/requestBodies.test.ts
+++ b/packages/gateway/frontend/requestBodies.test.ts
@@ -4,6 +4,7 @@
   MAX_BUFFERED_BODY_BYTES,
   startCallerServer,
 } from './callerServer.fixture.js';
+import { DEFAULT_MAX_BODY_BYTES } from './constants.js';
 import { sumLengths } from '../../core/bytes/sumLengths.js';
 
 const LARGE_BODY = 'a'.repeat(MAX_BUFFERED_BODY_BYTES * 0.6);
@@ -118,3 +119,15 @@
   t.is(sumLengths((await server.waitForRequest('b')).body), LARGE_BODY.length);
   await stalled.waitForClose();
 });
+
+// Guards against a refused caller that keeps the processor busy with a body without end.
+test('a refused body is not read beyond the size limit of bodies', async (t) => {
+  const server = await startCallerServer(t);
+  const caller = server.openCaller();
+  const chunk = `10000\r\n${'a'.repeat(0x10000)}\r\n`;
+  caller.send(CHUNKED + chunk.repeat((2 * DEFAULT_MAX_BODY_BYTES) / 0x10000));
+  await caller.waitForText('overloaded');
+  await caller.waitForClose();
+  t.deepEqual(server.counted, ['endless-body awaiting-head']);
+  t.is(server.memory.bodies.getReserved(), 0);
+});
--- a/packages/gateway/frontend/statusServer.ts
+++ b/packages/gateway/frontend/statusServer.ts
@@ -24,6 +24,9 @@
 /** Header size limit; the pages are asked for with a few short headers. */
 const MAX_STATUS_HEADER_BYTES = 8 * 1024;
 
+/** Size limit of a body, which no page needs. */
+const MAX_STATUS_BODY_BYTES = 64 * 1024;
+
 const HEADER_TIMEOUT_MS = 3_000;
 
 const STATUS_OVERLOADED = 503;
@@ -75,7 +78,8 @@
     room: createRequestRoom(openAccount(), clock, table.closeStalled),
     turns: createTurnQueue(),
     onConnection: () => undefined,
-    onNoRoom: () => undefined,
+    getMaxBodyBytes: () => MAX_STATUS_BODY_BYTES,
+    onClose: () => undefined,
   });
   return {
     listen: ({ host, port }) => openListener(server, { host, port, backlog: LISTEN_BACKLOG }),
--- a/packages/gateway/frontend/types.ts
+++ b/packages/gateway/frontend/types.ts
@@ -15,6 +15,8 @@
   | 'state-lost'
   /** The memory for connections or for what is not parsed yet was needed for others. */
   | 'no-room'
+  /** The body of an answered request is longer than any body may be. */
+  | 'endless-body'
   /** An answer was the last one on its connection. */
   | 'last-answer'
   /** Connections that appeared idle were closed at the end of the drain. */
