Bound the floods of the other daemons by the memory that they are told

The limit of 220 MB for floods at both listeners at once told of its runs (181 to 199 MB), and the daemons had settings of 1 GiB.

--- a/app/daemonListeners.test.ts
+++ b/app/daemonListeners.test.ts
@@ -16,11 +16,9 @@
 } from './listenerPlays.fixture.js';
 import type { DaemonKind, ListenerAddress } from './listenerPlays.fixture.js';
 
-/** Resident memory that the daemons may reach, in MB; they take some 125 MB when they have started. */
+/** Memory that the settings of the daemons state, in MB. */
 const MAX_MEGABYTES = 200;
-
-/** Limit of the memory while all holders are filled at once; 10 runs took 181 to 199 MB. */
-const MAX_MIXED_MEGABYTES = 220;
+const MEMORY_BYTES = MAX_MEGABYTES * 1024 * 1024;
 
 /** Time for which the connections of the mixture stay open. */
 const MIX_MS = 3_000;
@@ -245,7 +243,7 @@
 // ended a daemon with a heap of 90 MB, and some took over 400 MB before.
 for (const { buildBytes, connections, daemon, listener, title } of PLAYS)
   test.serial(`the ${daemon} daemon at ${listener} outlives ${title}`, async (t) => {
-    const running = await startLimitedDaemon(daemon);
+    const running = await startLimitedDaemon(daemon, MEMORY_BYTES);
     t.teardown(running.stop);
     const reading = title.endsWith('not read') ? 'unread' : 'read';
     const sockets = await writeToAll(running.getAddress(listener), {
@@ -281,7 +279,7 @@
 // Guards against limits that hold one after another, but whose sum exceeds the memory.
 for (const daemon of ['entry', 'endpoint'] as const)
   test.serial(`the ${daemon} daemon outlives floods at both listeners at once`, async (t) => {
-    const running = await startLimitedDaemon(daemon);
+    const running = await startLimitedDaemon(daemon, MEMORY_BYTES);
     t.teardown(running.stop);
     const plays = PLAYS.filter(
       (play) => play.daemon === daemon && MIXED.some((text) => play.title.includes(text)),
@@ -302,7 +300,7 @@
     t.is(running.getLife(), 'runs');
     const peak = running.readPeakMegabytes();
     t.log(`peak ${peak.toString()} MB`);
-    t.true(peak <= MAX_MIXED_MEGABYTES, peak.toString());
+    t.true(peak <= MAX_MEGABYTES, peak.toString());
   });
 
 const PIPELINED = 400;
@@ -330,7 +328,7 @@
 
 // Guards against a limit that costs an honest caller a request that was read whole, or its place.
 test.serial('requests in series are answered whole and in order beside a flood', async (t) => {
-  const running = await startLimitedDaemon('entry');
+  const running = await startLimitedDaemon('entry', MEMORY_BYTES);
   t.teardown(running.stop);
   const address = running.getAddress('callers');
   const flood = { bytes: repeatBytes(SERVICE_CALL, 200), count: 50, reading: 'unread' } as const;
