--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -39,6 +39,7 @@
 import type { Metrics } from '../core/metrics/metrics.js';
 import { createDaemon } from '../core/supervision/daemon.js';
 import type { Daemon } from '../core/supervision/daemon.js';
+import { createFailureReports } from '../core/supervision/failureReports.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
 import { DEFAULT_ADMISSION_SETTINGS } from '../decisions/admission/constants.js';
 import { DEFAULT_NONCE_SETTINGS } from '../decisions/idempotency/constants.js';
@@ -228,20 +229,15 @@
       cradle.onEnd({ kind: 'drained', left });
     },
   };
+  const { onFailure, onFault } = createFailureReports(events, cradle.onEnd);
   const spec = createEndpointSupervisor(cradle.logics, states);
   const daemon = createDaemon<EndpointEvent, EndpointEffect>({
     classify: classifyEvent,
-    startRoot: () =>
-      startSupervisor(spec, clock, ({ child, rebuildsFrom, error }) => {
-        events.record('child-failed', { data: { child, rebuildsFrom, error: String(error) } });
-      }),
+    startRoot: () => startSupervisor(spec, clock, onFailure),
     perform: (effect) => {
       performEffect(effect, adapters);
     },
-    onFault: (error) => {
-      events.record('daemon-fault', { data: { error: String(error) } });
-      cradle.onEnd({ kind: 'fault', error });
-    },
+    onFault,
   });
   return daemon;
 };
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -49,8 +49,8 @@
 import { createRandomSource } from '../core/random.js';
 import { createDaemon } from '../core/supervision/daemon.js';
 import type { Daemon } from '../core/supervision/daemon.js';
+import { createFailureReports } from '../core/supervision/failureReports.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
-import type { ChildFailure } from '../core/supervision/types.js';
 import { decideDelta, toSnapshot } from '../decisions/configuration/exchange.js';
 import { countKeys, findChain } from '../decisions/idempotency/table.js';
 import { getNewVersionShare } from '../decisions/moves/move.js';
@@ -292,9 +292,7 @@
       cradle.onEnd({ kind: 'drained', left });
     },
   };
-  const onFailure = ({ child, rebuildsFrom, error }: ChildFailure): void => {
-    events.record('child-failed', { data: { child, rebuildsFrom, error: String(error) } });
-  };
+  const { onFailure, onFault } = createFailureReports(events, cradle.onEnd);
   const spec = createEntrySupervisor(cradle.logics, states, clock, onFailure);
   const daemon = createDaemon<EntryEvent, EntryEffect>({
     classify: classifyEvent,
@@ -302,10 +300,7 @@
     perform: (effect) => {
       performEffect(effect, adapters);
     },
-    onFault: (error) => {
-      events.record('daemon-fault', { data: { error: String(error) } });
-      cradle.onEnd({ kind: 'fault', error });
-    },
+    onFault,
   });
   return daemon;
 };
--- a/packages/gateway/wiring.ts
+++ b/packages/gateway/wiring.ts
@@ -56,8 +56,8 @@
 import { createRandomSource } from '../core/random.js';
 import { createDaemon } from '../core/supervision/daemon.js';
 import type { Daemon } from '../core/supervision/daemon.js';
+import { createFailureReports } from '../core/supervision/failureReports.js';
 import { startSupervisor } from '../core/supervision/supervisor.js';
-import type { ChildFailure } from '../core/supervision/types.js';
 import { findRoute } from '../decisions/forwarding/routing.js';
 import { hasWish } from '../decisions/forwarding/rest.js';
 import { chooseByRendezvous } from '../decisions/membership/rendezvous.js';
@@ -261,10 +261,7 @@
 
 const buildDaemon = (cradle: GatewayCradle): Daemon<GatewayEvent> => {
   const { clock, connections, events, metrics, ports, responders, states } = cradle;
-  const onFailure = ({ child, rebuildsFrom, error }: ChildFailure): void => {
-    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    events.record('child-failed', { data: { child, rebuildsFrom, error: text } });
-  };
+  const { onFailure, onFault } = createFailureReports(events, cradle.onEnd);
   const adapters = {
     loop: () => daemon.loop,
     events,
@@ -290,10 +287,7 @@
     perform: (effect) => {
       performEffect(effect, adapters);
     },
-    onFault: (error) => {
-      events.record('daemon-fault', { data: { error: String(error) } });
-      cradle.onEnd({ kind: 'fault', error });
-    },
+    onFault,
     onLate: (lateness) => {
       events.record('loop-late', { data: { ...lateness } });
     },
