--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -64,7 +64,7 @@
 
 /**
  * Memory of an idle connection: its socket, the stream in front of it, its parser and its entries in
- * tables. 3,000 of them took 9.6 KB of resident memory each (docs/CAPACITY.md).
+ * tables (docs/CAPACITY.md).
  */
 export const CONNECTION_BYTES = 10 * 1024;
 
--- a/packages/wire/constants.ts
+++ b/packages/wire/constants.ts
@@ -58,7 +58,7 @@
 /** Memory in MB that Node.js allows the session of one connection beyond its calls. */
 export const MAX_SESSION_MEGABYTES = 10;
 
-/** Memory of one connection without calls; 3,000 of them took 50 MB. */
+/** Memory of one connection without calls: its socket and its HTTP/2 session. */
 export const CONNECTION_OVERHEAD_BYTES = 20 * 1024;
 
 /** Memory for the calls of a listener, unless its daemon sets another. */
