Read a part of what endpoints send in one turn of the loop

Cause: what callers send has a limit in a turn, what endpoints send had none. A connection is read up to 32 times in a turn; eight endless answers brought 867 KB in one turn.

Change: all answers together bring 256 KB in a turn; the others are paused until the next one.

--- /dev/null
+++ b/packages/core/loop/readTurns.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import { createReadTurns } from './readTurns.js';
+
+const createSource = () => {
+  const calls: string[] = [];
+  return {
+    calls,
+    pause: () => calls.push('pause'),
+    resume: () => calls.push('resume'),
+  };
+};
+
+// Guards against turns of the event loop that last for as long as some connections have bytes.
+test('sources above the limit of a turn go on in the next turn', async (t) => {
+  const turns = createReadTurns(100);
+  const [first, second] = [createSource(), createSource()];
+  turns.record(first, 60);
+  turns.record(second, 60);
+  turns.record(first, 10);
+  t.deepEqual([first.calls, second.calls], [['pause'], ['pause']]);
+  await new Promise(setImmediate);
+  t.deepEqual(
+    [first.calls, second.calls],
+    [
+      ['pause', 'resume'],
+      ['pause', 'resume'],
+    ],
+  );
+  turns.record(first, 60);
+  t.deepEqual(first.calls, ['pause', 'resume']);
+});
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -6,6 +6,7 @@
 import { isAnswerStatus } from '../../core/http/answerStatus.js';
 import { reportResets } from '../../core/http/connectionResets.js';
 import type { Clock, Millis } from '../../core/clock.js';
+import { createReadTurns } from '../../core/loop/readTurns.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
@@ -53,6 +54,9 @@
 const toAttemptId = (key: number, attempt: number): string =>
   `${key.toString()}/${attempt.toString()}`;
 
+/** Bytes of all answers that are read in one turn of the event loop. */
+const MAX_TURN_BYTES = 256 * 1024;
+
 /** Status of the first final answer; lower ones announce another answer. */
 const MIN_FINAL_STATUS = 200;
 
@@ -108,6 +112,7 @@
 export const createEndpointClient = (options: EndpointClientOptions): EndpointClient => {
   const { clock, codec, isLate, post, recordReceived } = options;
   const running = new Map<string, RunningAttempt>();
+  const turns = createReadTurns(MAX_TURN_BYTES);
   const probes = new Map<string, Promise<ProbeResult>>();
 
   const open = (order: AttemptOrder): void => {
@@ -174,6 +179,7 @@
       incoming.on('data', (bytes: Buffer) => {
         bodyBytes += bytes.length;
         recordReceived(bytes.length);
+        turns.record(incoming, bytes.length);
         if (phase !== 'ended') post({ ...eventBase, kind: 'answer-continued', bytes });
       });
       incoming.on('end', () => {
