Renew the limit of a turn only when half of it is used

To wait for the next turn wakes the loop once more for each event of a stream; the platform charges each wake-up. Answers that many turns bring are still renewed, which a test shows.

--- a/packages/core/loop/readTurns.test.ts
+++ b/packages/core/loop/readTurns.test.ts
@@ -29,3 +29,14 @@
   turns.record(first, 60);
   t.deepEqual(first.calls, ['pause', 'resume']);
 });
+
+// Guards against a limit that small answers of many turns use up.
+test('what many turns bring is renewed', async (t) => {
+  const turns = createReadTurns(100);
+  const source = createSource();
+  for (let count = 0; count < 50; count += 1) {
+    turns.record(source, 20);
+    await new Promise(setImmediate);
+  }
+  t.deepEqual(source.calls, []);
+});
--- a/packages/core/loop/readTurns.ts
+++ b/packages/core/loop/readTurns.ts
@@ -10,6 +10,12 @@
   readonly record: (source: PausableSource, bytes: number) => void;
 }
 
+/**
+ * Share of the limit above which what is left is not renewed in each turn: to wait for the next turn wakes
+ * the loop, and most turns bring a few events of streams only.
+ */
+const UNCOUNTED_SHARE = 0.5;
+
 /**
  * Creates the limit. One connection is read up to 32 times in a turn, and connections that always have
  * bytes would make turns of which each lasts for a hundred ms: others wait meanwhile, and a listener
@@ -34,6 +40,7 @@
   return {
     record: (source, bytes) => {
       leftBytes -= bytes;
+      if (leftBytes > maxBytes * UNCOUNTED_SHARE) return;
       if (leftBytes <= 0) {
         source.pause();
         paused.add(source);
