--- a/packages/gateway/frontend/callerServer.ts
+++ b/packages/gateway/frontend/callerServer.ts
@@ -151,6 +151,15 @@
     responders.refuse(key, failure);
   };
 
+  /** An error is met again by the decision on the whole request, where its supervisor handles it. */
+  const isRefusedByHead = (incoming: IncomingMessage, head: CallerHead): boolean => {
+    try {
+      return hasBody(incoming) && options.isRefused(head);
+    } catch {
+      return false;
+    }
+  };
+
   const post = (request: ForwardRequest, body: BodyState): void => {
     if (options.postArrival(request, body) === 'shed') responders.refuse(request.key, QUEUE_FULL);
   };
@@ -178,7 +187,7 @@
       refuseUnread(key, response, TOO_MANY_REQUESTS);
       return;
     }
-    if (hasBody(incoming) && options.isRefused(head)) {
+    if (isRefusedByHead(incoming, head)) {
       holdOpenForRest(response);
       post({ ...head, key, body: [], receivedAt }, 'unread');
       return;
