Show the answers without end that end a gateway or keep its loop busy

The test has the forms that the issue names and their likes, behind 200 and 500, on a plain and a streaming route, with a sound service beside the faulty one.

--- a/packages/gateway/endpoints/endlessServer.fixture.ts
+++ b/packages/gateway/endpoints/endlessServer.fixture.ts
@@ -21,6 +21,26 @@
   ['trailers', `${CHUNKED_HEAD}0\r\n`, 'Name: value\r\n'],
 ] as const;
 
+/** Bytes that are repeated, or a function that formats each of them by its number, counted from 1. */
+export type EndlessPiece = string | ((number: number) => string);
+
+/** Returns a function that returns the next pieces, of some `PIECE_BYTES` together. */
+const createPieces = (piece: EndlessPiece): (() => string) => {
+  if (typeof piece === 'string') {
+    const text = piece.repeat(Math.ceil(PIECE_BYTES / piece.length));
+    return () => text;
+  }
+  let count = 0;
+  return () => {
+    let text = '';
+    while (text.length < PIECE_BYTES) {
+      count += 1;
+      text += piece(count);
+    }
+    return text;
+  };
+};
+
 /**
  * Writes a piece again and again until the connection closes or `MAX_BYTES` are written.
  *
@@ -28,11 +48,11 @@
  * @param head - bytes before the first piece
  * @param piece - bytes that are repeated
  */
-export const writeWithoutEnd = (socket: Socket, head: string, piece: string): void => {
-  const text = piece.repeat(Math.ceil(PIECE_BYTES / piece.length));
+export const writeWithoutEnd = (socket: Socket, head: string, piece: EndlessPiece): void => {
+  const takeNext = createPieces(piece);
   const write = (): void => {
     while (!socket.destroyed && socket.bytesWritten < MAX_BYTES) {
-      if (!socket.write(text)) {
+      if (!socket.write(takeNext())) {
         socket.once('drain', write);
         return;
       }
