Count a body that arrives byte by byte as stalled

Callers saw: while 1,300 connections sent their bodies a byte at a time, ordinary requests were refused with 429 for as long as they stayed.

Cause: a body without bytes for a second makes way for others, and one byte within that second was progress. Each such request keeps the memory of an open request.

Change: progress is 4 KB. A body that brings less in a second may be closed, still only when others need its room, as one that brings nothing.

--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -7,7 +7,7 @@
   | 'idle'
   /** A part of a head has been read. */
   | 'reading'
-  /** The body of a request is being read; it is there since its newest bytes. */
+  /** The body of a request is being read. */
   | 'receiving'
   /** A request has been read whole, and its answer is due. */
   | 'due';
@@ -34,8 +34,10 @@
 export interface TableEntry {
   readonly member: TableMember;
   place: ConnectionPlace;
-  /** Instant since which it is there. */
+  /** Instant since which it is there; of a body, since its newest `PROGRESS_BYTES`. */
   since: Millis;
+  /** Bytes of a body since then. */
+  progressBytes: number;
   unparsedBytes: number;
 }
 
@@ -47,8 +49,8 @@
   readonly remove: (entry: TableEntry) => void;
   readonly recordPlace: (entry: TableEntry, place: ConnectionPlace) => void;
   /** Records that bytes of a body have arrived. */
-  readonly recordProgress: (entry: TableEntry) => void;
-  /** Closes the connection whose body has been without new bytes for longest, if it is stalled. */
+  readonly recordProgress: (entry: TableEntry, bytes: number) => void;
+  /** Closes the connection whose body has been without progress for longest, if it is stalled. */
   readonly closeStalled: () => 'closed' | 'none';
   /** Closes the connections that wait for a further request, or whose last answer has been written. */
   readonly closeIdle: () => void;
@@ -76,11 +78,14 @@
 const FRESH_MS: Millis = 1_000;
 
 /**
- * Time without new bytes of a body after which its connection may be closed for others. Its request has
+ * Time without progress of a body after which its connection may be closed for others. Its request has
  * reserved memory and has not been read whole, so its caller may repeat it.
  */
 const STALLED_BODY_MS: Millis = 1_000;
 
+/** Bytes of a body that are progress: a byte now and then would hold the room of others for good. */
+const PROGRESS_BYTES = 4 * 1024;
+
 const getFirst = (entries: ReadonlySet<TableEntry>): TableEntry | null =>
   entries.values().next().value ?? null;
 
@@ -186,6 +191,7 @@
         member,
         place: 'idle',
         since: clock.now(),
+        progressBytes: 0,
         unparsedBytes: 0,
       };
       entries.idle.add(entry);
@@ -196,6 +202,7 @@
       if (entry.place === place || !entries[entry.place].delete(entry)) return;
       entry.place = place;
       entry.since = clock.now();
+      entry.progressBytes = 0;
       entries[place].add(entry);
     },
     reserveUnparsed: (entry, bytes) => {
@@ -204,9 +211,13 @@
       setUnparsed(entry, bytes);
       return 'reserved';
     },
-    recordProgress: (entry) => {
-      if (!entries.receiving.delete(entry)) return;
+    recordProgress: (entry, bytes) => {
+      if (entry.place !== 'receiving') return;
+      entry.progressBytes += bytes;
+      // The connection may have been removed.
+      if (entry.progressBytes < PROGRESS_BYTES || !entries.receiving.delete(entry)) return;
       entry.since = clock.now();
+      entry.progressBytes = 0;
       entries.receiving.add(entry);
     },
     closeStalled: () => {
--- a/packages/core/http/pacing/pacedListener.ts
+++ b/packages/core/http/pacing/pacedListener.ts
@@ -21,7 +21,7 @@
   readonly checkRoom: (incoming: IncomingMessage) => 'reserved' | 'refused';
   /** Counts the connections with a request that was read whole, and whose answer is due. */
   readonly countDue: () => number;
-  /** Closes the connection whose body has been without new bytes for longest, if it is stalled. */
+  /** Closes the connection whose body has been without progress for longest, if it is stalled. */
   readonly closeStalled: () => 'closed' | 'none';
 }
 
--- a/packages/core/http/pacing/requestPacing.ts
+++ b/packages/core/http/pacing/requestPacing.ts
@@ -274,7 +274,7 @@
       close('endless-body');
       return;
     }
-    table.recordProgress(entry);
+    table.recordProgress(entry, bodyBytes);
     held.take(takenBytes);
     for (const part of parts) {
       // The parser may have ended the connection with the part before.
