Join the chunks of an answer before the parser gets them

The parser calls back for each chunk, and each call posted an event of the loop, which is never shed. A read of 64 KB brings 11,000 chunks of one byte; a turn handles 256 events, and its limit of what is read counted the bytes of the body, a sixth of what arrives. So the queue grew until the heap was full, also on plain routes and behind a 500.

Change: an answer's chunks are joined before the parser, as those of requests are, and a turn counts all bytes behind the head.

--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -5,6 +5,7 @@
 import { limitOverhead } from '../../core/http/answerLimits.js';
 import { isAnswerStatus } from '../../core/http/answerStatus.js';
 import { reportResets } from '../../core/http/connectionResets.js';
+import { joinAnswerChunks } from '../../core/http/pacing/answerChunks.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import { createReadTurns } from '../../core/loop/readTurns.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
@@ -115,6 +116,12 @@
   const turns = createReadTurns(MAX_TURN_BYTES);
   const probes = new Map<string, Promise<ProbeResult>>();
 
+  /** Counts the framing, too, of which a body may be a small part. */
+  const recordBody = (answer: IncomingMessage, bytes: number): void => {
+    recordReceived(bytes);
+    turns.record(answer, bytes);
+  };
+
   const open = (order: AttemptOrder): void => {
     const { address, attempt, key, request, service, startedAt } = order;
     const attemptId = toAttemptId(key, attempt);
@@ -178,8 +185,6 @@
       post({ ...eventBase, kind: 'answer-started', head });
       incoming.on('data', (bytes: Buffer) => {
         bodyBytes += bytes.length;
-        recordReceived(bytes.length);
-        turns.record(incoming, bytes.length);
         if (phase !== 'ended') post({ ...eventBase, kind: 'answer-continued', bytes });
       });
       incoming.on('end', () => {
@@ -209,6 +214,7 @@
       outgoing.once('socket', () => {
         socket.off('error', fail);
       });
+      joinAnswerChunks(outgoing, recordBody);
       limitOverhead(outgoing, () => bodyBytes, endGarbled);
       outgoing.on('response', receive);
       outgoing.on('close', () => {
