Read each byte of an event stream once

The splitter joined the rest of an event with each piece, and at each blank line read all bytes since the last event again, to find out whether they are comments only. Both grow with the square of what arrives; 64 KB of line feeds are one read.

Change: the splitter keeps what it knows of the current line and of those before it, and the bytes in blocks that are not joined. It is updated in place, as the body of an attempt is; what held bytes would complete is found with a copy.

A property compares 500 texts of odd lines in chunks of any size with the definition.

--- a/packages/decisions/forwarding/eventSplitter.test.ts
+++ b/packages/decisions/forwarding/eventSplitter.test.ts
@@ -1,21 +1,28 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { EMPTY_SPLITTER, hasOnlyComments, splitEvents } from './eventSplitter.js';
+import {
+  createSplitterCopy,
+  createEventSplitter,
+  isBetweenEvents,
+  splitEvents,
+} from './eventSplitter.js';
 import type { StreamEvent } from './eventSplitter.js';
+import { listParts } from '../../core/bytes/byteBlocks.js';
 
 const toText = (bytes: Uint8Array): string => Buffer.from(bytes).toString('latin1');
 
 const splitAll = (chunks: readonly Uint8Array[]) => {
-  let state = EMPTY_SPLITTER;
+  const splitter = createEventSplitter();
   const events: StreamEvent[] = [];
-  for (const chunk of chunks) {
-    const result = splitEvents(state, chunk);
-    ({ state } = result);
-    events.push(...result.events);
-  }
-  return { events, rest: state.rest };
+  for (const chunk of chunks) events.push(...splitEvents(splitter, chunk).events);
+  return { events, rest: Buffer.concat(listParts(splitter.rest)), splitter };
 };
 
+const splitText = (text: string, size: number): readonly Uint8Array[] =>
+  Array.from({ length: Math.ceil(text.length / size) }, (_, index) =>
+    Buffer.from(text.slice(index * size, (index + 1) * size)),
+  );
+
 const event = fc
   .tuple(fc.nat(999), fc.stringMatching(/^[a-z ]{0,20}$/), fc.constantFrom('\n', '\r\n'))
   .map(([id, data, end]) => `id: ${id.toString()}${end}data: ${data}${end}${end}`);
@@ -51,7 +58,7 @@
 
 // Guards against unbounded memory use when an endpoint never completes an event.
 test('an incomplete event above the size limit is reported as too large', (t) => {
-  const result = splitEvents(EMPTY_SPLITTER, Buffer.alloc(300 * 1024, 'x'));
+  const result = splitEvents(createEventSplitter(), Buffer.alloc(300 * 1024, 'x'));
   t.is(result.outcome, 'too-large');
 });
 
@@ -60,18 +67,64 @@
 test('comments and blank lines are part of the next event', (t) => {
   const text = ': wait\n\n\n: wait\r\n\r\nid: 4\ndata: a\n\n: wait\n\n';
   for (const size of [1, 2, 3, 5, 200]) {
-    let state = EMPTY_SPLITTER;
-    const events: StreamEvent[] = [];
-    for (let at = 0; at < text.length; at += size) {
-      const result = splitEvents(state, Buffer.from(text.slice(at, at + size)));
-      ({ state } = result);
-      events.push(...result.events);
-    }
+    const chunks = splitText(text, size);
+    const { events, rest, splitter } = splitAll(chunks);
     t.deepEqual(
       events.map(({ id }) => id),
       ['4'],
     );
     t.is(Buffer.from(events[0]?.bytes ?? []).toString() + ': wait\n\n', text);
-    t.true(hasOnlyComments(state.rest));
+    t.is(rest.toString(), ': wait\n\n');
+    t.true(isBetweenEvents(splitter));
   }
 });
+
+/** Splits a whole text by the definition: an event ends at the first empty line after one of its fields. */
+const splitByLines = (text: string) => {
+  const events: string[] = [];
+  let rest = '';
+  let fields = 0;
+  for (const line of text.split(/(?<=\n)/u)) {
+    rest += line;
+    if (!line.startsWith(':') && line.trim() !== '') fields += 1;
+    if (fields === 0 || !/^\r?\n$/u.test(line)) continue;
+    events.push(rest);
+    rest = '';
+    fields = 0;
+  }
+  return { events, rest, place: fields === 0 ? 'between-events' : 'inside-event' } as const;
+};
+
+// Guards against a splitter that reads a line otherwise when a chunk ends inside it, and against held bytes
+// that change while it is found out which events they complete.
+test('lines of all kinds are split alike in chunks of any size', (t) => {
+  const line = fc.constantFrom(
+    '\n',
+    '\r\n',
+    ' \n',
+    '\r\r\n',
+    ':\n',
+    ': a\r\n',
+    'id: 1\n',
+    '\t: a\n',
+    'b',
+  );
+  const property = fc.property(
+    fc.array(line, { maxLength: 12 }),
+    fc.integer({ min: 1, max: 9 }),
+    (lines, size) => {
+      const text = lines.join('');
+      const { events, rest, splitter } = splitAll(splitText(text, size));
+      const expected = splitByLines(text);
+      t.deepEqual(
+        events.map(({ bytes }) => toText(bytes)),
+        expected.events,
+      );
+      t.is(toText(rest), expected.rest);
+      t.is(isBetweenEvents(splitter) ? 'between-events' : 'inside-event', expected.place);
+      splitEvents(createSplitterCopy(splitter), Buffer.from('id: 2\n\n'));
+      t.deepEqual(Buffer.concat(listParts(splitter.rest)), rest);
+    },
+  );
+  fc.assert(property, { seed: 12, numRuns: 500 });
+});
--- a/packages/gateway/requests/answerMemory.ts
+++ b/packages/gateway/requests/answerMemory.ts
@@ -15,7 +15,11 @@
  * @param state - state whose count is updated
  */
 export const updateHeldBytes = (attempt: Attempt, state: RequestsState): void => {
-  recordHeldBytes(attempt, attempt.body.allocatedBytes + attempt.splitter.rest.length, state);
+  recordHeldBytes(
+    attempt,
+    attempt.body.allocatedBytes + attempt.splitter.rest.allocatedBytes,
+    state,
+  );
 };
 
 /**
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -20,8 +20,12 @@
 import { appendChunk, listParts, takeParts } from '../../core/bytes/byteBlocks.js';
 import { checkEventOrder } from '../../decisions/forwarding/eventOrder.js';
 import type { StreamProgress } from '../../decisions/forwarding/eventOrder.js';
-import { hasOnlyComments, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
-import type { SplitResult, StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
+import {
+  createSplitterCopy,
+  isBetweenEvents,
+  splitEvents,
+} from '../../decisions/forwarding/eventSplitter.js';
+import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
 import type { GatewayEffect } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
@@ -177,7 +181,6 @@
   context: RequestsContext,
 ): Effects => {
   const split = splitEvents(attempt.splitter, bytes);
-  attempt.splitter = split.state;
   updateHeldBytes(attempt, context.state);
   const { events, fault } = checkEventOrder(split.events, getProgress(forwarding));
   // The endpoint whose event comes first keeps a stream that another one continues.
@@ -265,8 +268,17 @@
   },
 });
 
-const splitHeld = ({ body, splitter }: Attempt): SplitResult =>
-  splitEvents(splitter, joinParts(listParts(body)));
+/** Events that are held of a stream, and whether it may end after them. */
+interface HeldEvents {
+  readonly events: readonly StreamEvent[];
+  readonly place: 'between-events' | 'inside-event';
+}
+
+const splitHeld = ({ body, splitter }: Attempt): HeldEvents => {
+  const copy = createSplitterCopy(splitter);
+  const { events } = splitEvents(copy, joinParts(listParts(body)));
+  return { events, place: isBetweenEvents(copy) ? 'between-events' : 'inside-event' };
+};
 
 /** Finds out whether a stream ended without the events that are held of another endpoint. */
 const findContradiction = ({ attempts }: Forwarding, { events }: Attempt): string | null => {
@@ -299,9 +311,9 @@
   attempt: Attempt,
   context: RequestsContext,
 ): Effects => {
-  const split = splitHeld(attempt);
-  const { fault } = checkEventOrder(split.events, getProgress(forwarding));
-  if (fault !== null || !hasOnlyComments(split.state.rest)) {
+  const { events, place } = splitHeld(attempt);
+  const { fault } = checkEventOrder(events, getProgress(forwarding));
+  if (fault !== null || place === 'inside-event') {
     if (checkStreamEnd(attempt, 'broken') === 'wait') return [];
     const message = fault ?? 'the stream ended inside an event';
     return failAttempt(forwarding, attempt, { kind: 'broken', message }, context);
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -13,7 +13,7 @@
 import { createByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { EndpointId } from '../../core/ids.js';
 import { hasRoom } from '../../decisions/forwarding/crowding.js';
-import { EMPTY_SPLITTER } from '../../decisions/forwarding/eventSplitter.js';
+import { createEventSplitter } from '../../decisions/forwarding/eventSplitter.js';
 import {
   placeBackup,
   placeAttempt,
@@ -116,7 +116,7 @@
     phase: 'connecting',
     head: null,
     body: createByteBlocks(),
-    splitter: EMPTY_SPLITTER,
+    splitter: createEventSplitter(),
     heldBytes: 0,
     lastEventAt: now,
     reportedRun: null,
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -109,7 +109,7 @@
   for (const { attempts, fallbackAnswer } of inFlight.values()) {
     sum += fallbackAnswer?.heldBytes ?? 0;
     for (const { body, splitter } of attempts.values())
-      sum += body.allocatedBytes + splitter.rest.length;
+      sum += body.allocatedBytes + splitter.rest.allocatedBytes;
   }
   if (sum !== answerBytes)
     throw new Error(`${answerBytes.toString()} bytes are counted for ${sum.toString()}`);
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -5,7 +5,7 @@
 import type { Clock, Millis } from '../../core/clock.js';
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { RandomSource } from '../../core/random.js';
-import type { SplitterState } from '../../decisions/forwarding/eventSplitter.js';
+import type { EventSplitter } from '../../decisions/forwarding/eventSplitter.js';
 import type { WaitingRequest } from '../../decisions/forwarding/crowding.js';
 import type { FleetKnowledge } from '../../decisions/forwarding/fleetShare.js';
 import type { Candidate } from '../../decisions/forwarding/placeAttempt.js';
@@ -78,7 +78,7 @@
   head: AnswerHead | null;
   /** Whole answer, as far as it has been received; of a stream, what is held (`releaseHeldStream`). */
   readonly body: ByteBlocks;
-  splitter: SplitterState;
+  readonly splitter: EventSplitter;
   /** Bytes that the daemon keeps of the answer, as counted in `RequestsState.answerBytes`. */
   heldBytes: number;
   lastEventAt: Millis;
