--- a/packages/decisions/forwarding/eventOrder.ts
+++ b/packages/decisions/forwarding/eventOrder.ts
@@ -32,12 +32,11 @@
   let last = lastEventId === null ? -Infinity : toNumber(lastEventId);
   for (const [index, { id }] of events.entries()) {
     const number = toNumber(id);
-    const accepted = events.slice(0, index);
-    if (!Number.isFinite(number)) return { events: accepted, fault: 'an event has no id' };
-    if (number <= last) return { events: accepted, fault: 'the ids of the events do not increase' };
-    if (eventsLeft !== null && index >= eventsLeft) {
-      return { events: accepted, fault: 'the stream is longer than the request allows' };
-    }
+    const endBefore = (fault: string): OrderedEvents => ({ events: events.slice(0, index), fault });
+    if (!Number.isFinite(number)) return endBefore('an event has no id');
+    if (number <= last) return endBefore('the ids of the events do not increase');
+    if (eventsLeft !== null && index >= eventsLeft)
+      return endBefore('the stream is longer than the request allows');
     last = number;
   }
   return { events, fault: null };
