Resume as many paused answers in a turn as fit into it

Answers above the limit of a turn were paused until the next one, which resumed all of them. Each brings a read of 64 KB, so a turn with 60 such streams read 4 MB instead of 256 KB, and a listener accepts one connection in a turn.

Change: paused answers are resumed in the order in which they were paused, as many in a turn as fit into it; what they bring at once counts to its limit.

The limit of the turn in readTurns.test is tried with reads of a size of its own; its steps are the same.

--- a/packages/core/loop/readTurns.test.ts
+++ b/packages/core/loop/readTurns.test.ts
@@ -12,7 +12,7 @@
 
 // Guards against turns of the event loop that last for as long as some connections have bytes.
 test('sources above the limit of a turn go on in the next turn', async (t) => {
-  const turns = createReadTurns(100);
+  const turns = createReadTurns(100, 15);
   const [first, second] = [createSource(), createSource()];
   turns.record(first, 60);
   turns.record(second, 60);
@@ -40,3 +40,17 @@
   }
   t.deepEqual(source.calls, []);
 });
+
+// Guards against turns that are as long as there are sources: each that is resumed brings bytes at once.
+test('paused sources are resumed in their order, as many in a turn as fit into it', async (t) => {
+  const turns = createReadTurns(100, 25);
+  const sources = Array.from({ length: 5 }, createSource);
+  for (const source of sources) turns.record(source, 100);
+  const countResumed = (): number => sources.filter(({ calls }) => calls.includes('resume')).length;
+  const resumed: number[] = [];
+  for (let turn = 0; turn < 3; turn += 1) {
+    await new Promise(setImmediate);
+    resumed.push(countResumed());
+  }
+  t.deepEqual(resumed, [2, 4, 5]);
+});
