Split the reader of request bodies into its steps

A body that is being read is a value now, and each step a function of its own. No change of behaviour: the tests of request bodies, of the callers' memory and of the crowds are as they were.

--- a/packages/core/http/requestBodies.ts
+++ b/packages/core/http/requestBodies.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { appendChunk, computeNextBlock, createByteBlocks, takeParts } from '../bytes/byteBlocks.js';
+import type { ByteBlocks } from '../bytes/byteBlocks.js';
 import type { MemoryAccount } from '../memory/types.js';
 
 /** How the body of a request ended. */
@@ -60,7 +61,7 @@
 export const hasBody = (incoming: IncomingMessage): boolean =>
   incoming.headers['transfer-encoding'] !== undefined || readStatedLength(incoming) > 0;
 
-/** Closes a connection whose body has been without new bytes for a while; its memory is released soon. */
+/** Closes a connection whose body has been without progress for a while; its memory is released soon. */
 export type CloseStalled = () => 'closed' | 'none';
 
 /** Progress of a body. */
@@ -70,6 +71,108 @@
   | 'waiting'
   | 'settled';
 
+/** Limits of all bodies of a listener. */
+interface BodyLimits {
+  readonly account: MemoryAccount;
+  readonly closeStalled: CloseStalled;
+  maxBodyBytes: number;
+}
+
+/** A body that is being read. */
+interface OpenBody {
+  readonly incoming: IncomingMessage;
+  readonly limits: BodyLimits;
+  readonly memory: BodyMemory;
+  readonly content: ByteBlocks;
+  /** Bytes that arrive while the body waits for room, which takes a few turns of the event loop. */
+  readonly arrived: Buffer[];
+  readonly onSettled: (result: BodyResult) => void;
+  phase: BodyPhase;
+}
+
+const settleBody = (body: OpenBody, result: BodyResult): void => {
+  if (body.phase === 'settled') return;
+  body.phase = 'settled';
+  if (result.kind !== 'whole') {
+    // The listeners keep the blocks for as long as the rest of the body arrives.
+    takeParts(body.content);
+    body.arrived.length = 0;
+    body.memory.release();
+  }
+  body.onSettled(result);
+};
+
+const finishWhole = (body: OpenBody): void => {
+  if (body.phase !== 'receiving' || !body.incoming.readableEnded) return;
+  settleBody(body, { kind: 'whole', body: takeParts(body.content), release: body.memory.release });
+};
+
+const waitForRoom = (body: OpenBody, bytes: number): void => {
+  const { account, closeStalled } = body.limits;
+  body.phase = 'waiting';
+  const checkRoom = (): void => {
+    if (body.phase !== 'waiting') return;
+    if (account.hasRoom(bytes)) {
+      body.phase = 'receiving';
+      appendArrived(body);
+    } else if (closeStalled() === 'closed') {
+      setImmediate(checkRoom);
+    } else {
+      // Reports that there is no room.
+      account.reserve(bytes);
+      settleBody(body, { kind: 'no-room' });
+    }
+  };
+  checkRoom();
+};
+
+/** Keeps the next bytes that have arrived, or finds out that they can't be kept now. */
+const appendNext = (body: OpenBody, chunk: Buffer): void => {
+  const { content, limits, memory } = body;
+  const next = computeNextBlock(content, chunk.length);
+  if (content.length + chunk.length > limits.maxBodyBytes) {
+    settleBody(body, { kind: 'too-large' });
+  } else if (!limits.account.hasRoom(next)) {
+    waitForRoom(body, next);
+  } else {
+    memory.reserve(next);
+    appendChunk(content, chunk);
+    body.arrived.shift();
+  }
+};
+
+const appendArrived = (body: OpenBody): void => {
+  let [chunk] = body.arrived;
+  while (chunk !== undefined && body.phase === 'receiving') {
+    appendNext(body, chunk);
+    [chunk] = body.arrived;
+  }
+  finishWhole(body);
+};
+
+const startBody = (body: OpenBody): void => {
+  const { incoming, limits } = body;
+  // `close` handles the end of the connection; an error without a listener would end the process.
+  incoming.on('error', () => undefined);
+  incoming.on('close', () => {
+    if (!incoming.readableEnded) settleBody(body, { kind: 'broken' });
+  });
+  const statedLength = readStatedLength(incoming);
+  if (statedLength > limits.maxBodyBytes) {
+    settleBody(body, { kind: 'too-large' });
+    return;
+  }
+  incoming.on('data', (chunk: Buffer) => {
+    if (body.phase === 'settled') return;
+    body.arrived.push(chunk);
+    appendArrived(body);
+  });
+  incoming.on('end', () => {
+    finishWhole(body);
+  });
+  if (!limits.account.hasRoom(statedLength)) waitForRoom(body, statedLength);
+};
+
 /**
  * Creates the reader of request bodies. The memory of a body is reserved before it is kept, and stays
  * reserved until its request has ended, since a retry sends it again. A body with a stated length is
@@ -77,100 +180,32 @@
  * states a length and sends nothing must not take the room of others.
  *
  * @param account - memory for all bodies
- * @param initialMaxBodyBytes - size limit of one body at first
+ * @param maxBodyBytes - size limit of one body at first
  * @param closeStalled - makes room for the bodies of others
  * @returns the reader
  */
 export const createRequestBodies = (
   account: MemoryAccount,
-  initialMaxBodyBytes: number,
+  maxBodyBytes: number,
   closeStalled: CloseStalled = () => 'none',
 ): RequestBodies => {
-  let maxBodyBytes = initialMaxBodyBytes;
-
-  const read = (incoming: IncomingMessage): Promise<BodyResult> =>
-    new Promise((resolve) => {
-      const memory = createBodyMemory(account);
-      const body = createByteBlocks();
-      /** Bytes that arrive while the body waits for room, which takes a few turns of the event loop. */
-      const arrived: Buffer[] = [];
-      let phase: BodyPhase = 'receiving';
-      // The phase also changes in functions that are called meanwhile, which the compiler cannot know.
-      const getPhase = (): BodyPhase => phase;
-      const settle = (result: BodyResult): void => {
-        if (phase === 'settled') return;
-        phase = 'settled';
-        incoming.off('data', receive);
-        if (result.kind !== 'whole') {
-          // The listeners keep the blocks for as long as the rest of the body arrives.
-          takeParts(body);
-          arrived.length = 0;
-          memory.release();
-        }
-        resolve(result);
-      };
-      const finishWhole = (): void => {
-        if (phase === 'receiving' && incoming.readableEnded)
-          settle({ kind: 'whole', body: takeParts(body), release: memory.release });
-      };
-      const waitForRoom = (bytes: number): void => {
-        phase = 'waiting';
-        const checkRoom = (): void => {
-          if (phase !== 'waiting') return;
-          if (account.hasRoom(bytes)) {
-            phase = 'receiving';
-            appendArrived();
-          } else if (closeStalled() === 'closed') {
-            setImmediate(checkRoom);
-          } else {
-            // Reports that there is no room.
-            account.reserve(bytes);
-            settle({ kind: 'no-room' });
-          }
-        };
-        checkRoom();
-      };
-      const appendArrived = (): void => {
-        let [chunk] = arrived;
-        while (chunk !== undefined && getPhase() === 'receiving') {
-          const next = computeNextBlock(body, chunk.length);
-          if (body.length + chunk.length > maxBodyBytes) {
-            settle({ kind: 'too-large' });
-          } else if (!account.hasRoom(next)) {
-            waitForRoom(next);
-          } else {
-            memory.reserve(next);
-            appendChunk(body, chunk);
-            arrived.shift();
-          }
-          [chunk] = arrived;
-        }
-        finishWhole();
-      };
-      const receive = (chunk: Buffer): void => {
-        arrived.push(chunk);
-        appendArrived();
-      };
-      // `close` handles the end of the connection; an error without a listener would end the process.
-      incoming.on('error', () => undefined);
-      incoming.on('close', () => {
-        if (!incoming.readableEnded) settle({ kind: 'broken' });
-      });
-      const statedLength = readStatedLength(incoming);
-      if (statedLength > maxBodyBytes) {
-        settle({ kind: 'too-large' });
-        return;
-      }
-      incoming.on('data', receive);
-      incoming.on('end', finishWhole);
-      if (!account.hasRoom(statedLength)) waitForRoom(statedLength);
-    });
-
+  const limits: BodyLimits = { account, closeStalled, maxBodyBytes };
   return {
-    read,
-    getMaxBodyBytes: () => maxBodyBytes,
+    read: (incoming) =>
+      new Promise((resolve) => {
+        startBody({
+          incoming,
+          limits,
+          memory: createBodyMemory(account),
+          content: createByteBlocks(),
+          arrived: [],
+          onSettled: resolve,
+          phase: 'receiving',
+        });
+      }),
+    getMaxBodyBytes: () => limits.maxBodyBytes,
     setMaxBodyBytes: (next) => {
-      maxBodyBytes = next;
+      limits.maxBodyBytes = next;
     },
   };
 };
