Give the parser of an engine's stream complete events only

The library that parses an engine's stream keeps each line of an event in the heap until the event is complete. 16 generations whose engine sends "data: a" lines without a blank line, 1 MB each at most, took more than a heap of 90 MB: the process ended, and all streams of the daemon with it.

Change: the bytes of an incomplete event are kept in blocks, by the splitter of the gateway, and the parser gets whole events.

--- a/packages/endpoint/engine/engineClient.ts
+++ b/packages/endpoint/engine/engineClient.ts
@@ -16,6 +16,7 @@
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
 import type { GenerationId } from '../../core/ids.js';
+import { createEventSplitter, splitEvents } from '../../decisions/forwarding/eventSplitter.js';
 import type { EndpointEvent, GenerateCall, ServiceAnswer, ServiceCall } from '../types.js';
 
 const healthSchema = z.object({
@@ -232,11 +233,14 @@
         if (chunk.choices.length > 0) choices.push(JSON.stringify(chunk.choices));
       },
     });
+    // The parser keeps each line of an incomplete event as an object of the heap.
+    const splitter = createEventSplitter();
     const decoder = new TextDecoder();
     let bytesSinceEvent = 0;
     for await (const part of body) {
       bytesSinceEvent += (part as Uint8Array).length;
-      parser.feed(decoder.decode(part as Uint8Array, { stream: true }));
+      const { events } = splitEvents(splitter, part as Uint8Array);
+      for (const { bytes } of events) parser.feed(decoder.decode(bytes, { stream: true }));
       if (choices.length > 0) {
         post({ to: 'streams', kind: 'engine-chunks', generationId, choices });
         choices = [];
