--- a/packages/core/http/pacing/connectionTable.ts
+++ b/packages/core/http/pacing/connectionTable.ts
@@ -227,7 +227,7 @@
       return 'closed';
     },
     closeIdle: () => {
-      // Line ends before a request also count as the begin of a head.
+      // Only its pacing knows whether a connection waits for a request.
       const { due, idle, reading } = entries;
       for (const { member } of [...idle, ...reading, ...due]) member.closeIdle();
     },
