Show the call that waits behind a crowd of new connections

Callers saw: an entry or an endpoint daemon does not answer a call within 2 s while 400 peers open connections and send messages of one byte a frame.

That test asks 3 s after the crowd has opened. So the wait is the accept: a listener accepts one connection in a turn of the event loop, and each turn hands on 128 KB of frames.

The new crowd asks at once.

--- a/app/openCrowds.test.ts
+++ b/app/openCrowds.test.ts
@@ -42,6 +42,8 @@
   readonly title: string;
   readonly daemon: DaemonKind;
   readonly listener: 'callers' | 'http' | 'rpc';
+  /** Time for which the crowd sends before the first ordinary request, in ms. */
+  readonly waitMs: number;
 }
 
 const formatPost = (path: string, line: string, body: string): string =>
@@ -92,6 +94,9 @@
   ['requests ahead for the metrics', 400, () => formatSeries('/metrics', 500)],
 ];
 
+/** Crowd that fails until its fault is mended; KNOWN-RED.txt 18. */
+const KNOWN_RED = 'new connections with messages of one byte a frame';
+
 const ONE_BYTE = Buffer.from('a');
 
 /** Calls that a daemon takes: path and content type. */
@@ -116,6 +121,7 @@
       daemon,
       connections,
       listener: daemon === 'entry' ? ('callers' as const) : ('http' as const),
+      waitMs: CROWD_MS,
       buildBytes: () => Buffer.from(format(), 'latin1'),
     }),
   ),
@@ -124,6 +130,15 @@
     daemon,
     connections: 200,
     listener: 'rpc' as const,
+    waitMs: CROWD_MS,
+    buildBytes: () => buildSmallFrames(daemon, 200_000),
+  },
+  {
+    title: KNOWN_RED,
+    daemon,
+    connections: 400,
+    listener: 'rpc' as const,
+    waitMs: 0,
     buildBytes: () => buildSmallFrames(daemon, 200_000),
   },
 ]);
@@ -158,7 +173,7 @@
 
 const assertBears = async (
   t: ExecutionContext,
-  { daemon, listener, ...crowd }: DaemonCrowd,
+  { daemon, listener, waitMs, ...crowd }: DaemonCrowd,
 ): Promise<void> => {
   t.timeout(180_000);
   const running = await startLimitedDaemon(daemon, MEMORY_MB * BYTES_PER_MB);
@@ -171,7 +186,7 @@
       DEADLINE_MS,
     );
   const sockets = await openCrowd(t, running.getAddress(listener), crowd);
-  await sleep(CROWD_MS);
+  await sleep(waitMs);
   t.is(await sendOrdinary(), 200, 'an ordinary request beside the crowd');
   t.not(await sendCallOnce(running.getAddress('rpc'), daemon), 0, 'a call beside the crowd');
   const descriptors = running.getLife() === 'runs' ? countDescriptors(running.processId) : 0;
@@ -188,5 +203,6 @@
 // keeps its loop busy, and while such a crowd stays open nobody else is served.
 for (const { buildBytes, ...crowd } of CROWDS) {
   const title = `the ${crowd.daemon} daemon at ${crowd.listener} bears ${crowd.title}`;
-  test.serial(title, (t) => assertBears(t, { ...crowd, bytes: buildBytes() }));
+  const add = crowd.title === KNOWN_RED ? test.serial.failing : test.serial;
+  add(title, (t) => assertBears(t, { ...crowd, bytes: buildBytes() }));
 }
