Show that two crashes by a request of many prompt parts stop a gateway

Shown: review/10, a script. A request with 257 prompt parts crashes two workers, while sound requests that share most parts begin. The gateway of the second crash stands still for 7 to 12 s, and plain requests of others have no answer at their time-out or half a second later (CONFIG). Cause: addReports (packages/gateway/quarantine/quarantine.ts) posts content-quarantined once for each part, and each makes cancelQuarantined (requests/crashes.ts) run checkContent (decisions/quarantine/crashEvidence.ts), whose time grows with the third power of the parts.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
