Decide once for all prompt parts that the same crashes suspect

Cause: each part was decided on its own, although parts of a prompt share their crashes. A check compared all parts with all parts of each crash for each quarantined part; a crash posted a check of all waiting requests and wrote a line for each part, and a survival called the store for each.

Change: parts with the same crashes are one class with one verdict (decisions/quarantine/suspectClasses); a check is one look-up for each part. A crash makes one check, one line and one count, ended quarantines are removed in one call of the store. All crashes hold 16,384 fingerprints together, a report to peers 24 KB of them: it exceeded a datagram. The entry daemon takes its sets of parts from the same classes.

--- a/packages/decisions/quarantine/constants.ts
+++ b/packages/decisions/quarantine/constants.ts
@@ -68,5 +68,17 @@
 /** Maximum number of crash reports that are retained; there is one for each affected request. */
 export const MAX_CRASH_REPORTS = 500;
 
+/**
+ * Maximum number of fingerprints in all crash reports that are retained. A request has one for each
+ * part of its prompt, some thousands at most.
+ */
+export const MAX_CRASH_FINGERPRINTS = 16_384;
+
+/**
+ * Maximum number of sets of prompt parts that are quarantined as causes of crashes; those with the most
+ * crashes are.
+ */
+export const MAX_LEADING_CLASSES = 64;
+
 /** Maximum number of fingerprints whose survivals are retained; the oldest is dropped. */
 export const MAX_PROVEN_FINGERPRINTS = 10_000;
--- a/packages/decisions/quarantine/crashEvidence.test.ts
+++ b/packages/decisions/quarantine/crashEvidence.test.ts
@@ -3,6 +3,7 @@
 import {
   CORRELATED_CRASH_MS,
   CRASH_RETENTION_MS,
+  MAX_CRASH_FINGERPRINTS,
   MAX_CRASH_REPORTS,
   MAX_PROVEN_FINGERPRINTS,
 } from './constants.js';
@@ -16,8 +17,9 @@
   listSurvivals,
   selectSuspects,
 } from './crashEvidence.js';
-import type { CrashEvidence, CrashProgress } from './crashEvidence.js';
-import type { ContentFingerprints } from './types.js';
+import type { CrashEvidence } from './crashEvidence.js';
+import type { CrashProgress } from './types.js';
+import type { ContentFingerprints, Fingerprint } from './types.js';
 
 const SEED = 731;
 const RUNS = 400;
@@ -215,3 +217,76 @@
   fc.assert(property, { seed: SEED, numRuns: RUNS });
   t.pass();
 });
+
+/** A crash, or a survival, of a request with some of a few parts. */
+interface HistoryStep {
+  readonly kind: 'crash' | 'survival';
+  readonly parts: readonly Fingerprint[];
+}
+
+const PARTS = ['a', 'b', 'c', 'd', 'e'];
+
+/**
+ * Checks parts as the quarantine is defined, against the whole history: a part is quarantined by enough
+ * crashes since its last survival, and its cause may be any part of all of these crashes that has never
+ * survived. A request is dangerous if it has all of them.
+ */
+const isDangerous = (history: readonly HistoryStep[], parts: readonly Fingerprint[]): boolean => {
+  const listCrashesOf = (part: Fingerprint): readonly HistoryStep[] => {
+    const last = history.findLastIndex(
+      (step) => step.kind === 'survival' && step.parts.includes(part),
+    );
+    return history
+      .slice(last + 1)
+      .filter((step) => step.kind === 'crash' && step.parts.includes(part));
+  };
+  const hasSurvived = (part: Fingerprint): boolean =>
+    history.some((step) => step.kind === 'survival' && step.parts.includes(part));
+  return parts.some((part) => {
+    const crashes = listCrashesOf(part);
+    if (crashes.length < (hasSurvived(part) ? 4 : 2)) return false;
+    return PARTS.filter(
+      (other) => !hasSurvived(other) && crashes.every((crash) => crash.parts.includes(other)),
+    ).every((other) => parts.includes(other));
+  });
+};
+
+// Guards against classes of parts that refuse another request than the crashes of its parts do.
+test('a request is refused as the history of its parts says', (t) => {
+  const anyParts = fc.subarray(PARTS, { minLength: 1 });
+  const anyStep = fc.record({
+    kind: fc.constantFrom('crash' as const, 'crash' as const, 'survival' as const),
+    parts: anyParts,
+  });
+  const property = fc.property(fc.array(anyStep, { maxLength: 14 }), anyParts, (history, parts) => {
+    const evidence = createCrashEvidence();
+    history.forEach((step, index) => {
+      const at = index * STEP_MS;
+      if (step.kind === 'crash') recordCrash(evidence, step.parts, `e-${index.toString()}`, at);
+      else for (const fingerprint of step.parts) addSurvival(evidence, { fingerprint, at });
+    });
+    const { kind } = checkContent(evidence, toParts(parts), history.length * STEP_MS);
+    return (kind === 'quarantined') === isDangerous(history, parts);
+  });
+  fc.assert(property, { seed: SEED, numRuns: 10 * RUNS });
+  t.pass();
+});
+
+// Guards against evidence that fills the memory of a daemon with the parts of long prompts.
+test('the parts of all crashes together are bounded, and the newest crash stays', (t) => {
+  const evidence = createCrashEvidence();
+  const count = MAX_CRASH_FINGERPRINTS / 4;
+  for (let index = 0; index < 12; index += 1) {
+    const parts = Array.from(
+      { length: count },
+      (_, part) => `${index.toString()}/${part.toString()}`,
+    );
+    // Each quarantine is of two crashes.
+    for (const endpoint of ['e-1', 'e-2'])
+      recordCrash(evidence, parts, `${endpoint}/${index.toString()}`, index * 2 * STEP_MS);
+    t.true(evidence.fingerprintCount <= MAX_CRASH_FINGERPRINTS);
+    t.true(evidence.byFingerprint.has(`${index.toString()}/0`));
+  }
+  t.true(evidence.byFingerprint.size <= MAX_CRASH_FINGERPRINTS);
+  t.true(evidence.classes.byMember.size <= MAX_CRASH_FINGERPRINTS);
+});
--- a/packages/decisions/quarantine/crashEvidence.ts
+++ b/packages/decisions/quarantine/crashEvidence.ts
@@ -1,32 +1,24 @@
 import {
-  CORRELATED_CRASH_MS,
   CRASH_RETENTION_MS,
+  MAX_CRASH_FINGERPRINTS,
   MAX_CRASH_REPORTS,
   MAX_PROVEN_FINGERPRINTS,
-  PROVEN_QUARANTINE_POINTS,
   QUARANTINE_POINTS,
 } from './constants.js';
-import type { ContentFingerprints, Fingerprint } from './types.js';
-import { assertNever } from '../../core/assertNever.js';
+import {
+  addSuspect,
+  clearSuspect,
+  compareReports,
+  createSuspectClasses,
+  isClassQuarantined,
+  listLeadingClasses,
+  removeSuspect,
+  sumPoints,
+} from './suspectClasses.js';
+import type { ClassMoves, SuspectClass, SuspectClasses, SuspectKind } from './suspectClasses.js';
+import type { ContentFingerprints, CrashReport, Fingerprint } from './types.js';
 import type { Millis } from '../../core/clock.js';
 
-/**
- * Progress of a request when its endpoint crashed. An endpoint that crashes on the content of a
- * request does so as it begins the answer, so a request that was beginning is a stronger suspect
- * than one that waited.
- */
-export type CrashProgress = 'beginning' | 'waiting';
-
-/** A request that an endpoint had and had not answered when it crashed. */
-export interface CrashReport {
-  /** Identity of the endpoint incarnation. */
-  readonly endpoint: string;
-  readonly progress: CrashProgress;
-  readonly at: Millis;
-  /** Content of the request that may be the cause. */
-  readonly content: ContentFingerprints;
-}
-
 /** Newest survival: an endpoint answered a request with the fingerprint and did not crash. */
 export interface Survival {
   readonly fingerprint: Fingerprint;
@@ -42,6 +34,14 @@
   readonly reports: Map<string, CrashReport>;
   readonly byFingerprint: Map<Fingerprint, Set<CrashReport>>;
   readonly survivals: Map<Fingerprint, Millis>;
+  /** Fingerprints by the crashes since their last survival. */
+  readonly classes: SuspectClasses;
+  /** Numbers of the reports in the order in which they were added. */
+  readonly numbers: Map<CrashReport, number>;
+  /** Number of the next report. */
+  nextNumber: number;
+  /** Number of fingerprints in all reports. */
+  fingerprintCount: number;
 }
 
 /** A request is refused because of one of its fingerprints. */
@@ -64,97 +64,30 @@
   reports: new Map(),
   byFingerprint: new Map(),
   survivals: new Map(),
+  classes: createSuspectClasses(),
+  numbers: new Map(),
+  nextNumber: 0,
+  fingerprintCount: 0,
 });
 
 const listFingerprints = ({ parts, whole }: ContentFingerprints): readonly Fingerprint[] =>
   whole === null ? parts : [whole, ...parts];
 
-const toPoints = (progress: CrashProgress): number => {
-  switch (progress) {
-    case 'beginning':
-      return 2;
-    case 'waiting':
-      return 1;
-    default:
-      return assertNever(progress);
-  }
-};
-
-const isCleared = ({ survivals }: CrashEvidence, fingerprint: Fingerprint, at: Millis): boolean =>
-  (survivals.get(fingerprint) ?? -Infinity) >= at;
-
-/** Lists the crashes since the last survival of a fingerprint, oldest first. */
-const listOpenReports = (
-  evidence: CrashEvidence,
-  fingerprint: Fingerprint,
-): readonly CrashReport[] =>
-  [...(evidence.byFingerprint.get(fingerprint) ?? [])]
-    .filter(({ at }) => !isCleared(evidence, fingerprint, at))
-    .sort((left, right) => left.at - right.at);
-
-/** Adds up the points of the crashes; of crashes at the same time only the greatest counts. */
-const sumPoints = (reports: readonly CrashReport[]): number => {
-  const endpoints = new Set<string>();
-  let sum = 0;
-  let startedAt = -Infinity;
-  let greatest = 0;
-  for (const { at, endpoint, progress } of reports) {
-    const points = toPoints(progress);
-    if (at - startedAt < CORRELATED_CRASH_MS || endpoints.has(endpoint)) {
-      const gain = Math.max(0, points - greatest);
-      greatest += gain;
-      sum += gain;
-    } else {
-      startedAt = at;
-      greatest = points;
-      sum += points;
-    }
-    endpoints.add(endpoint);
-  }
-  return sum;
-};
-
-/** Returns the instant of the latest crash if it is at its limit of points, or null. */
-const findQuarantinedAt = (
-  evidence: CrashEvidence,
-  fingerprint: Fingerprint,
-  reports: readonly CrashReport[],
-  now: Millis,
-): Millis | null => {
-  const last = reports.at(-1);
-  if (last === undefined || now - last.at >= CRASH_RETENTION_MS) return null;
-  // Most likely another part of the same requests caused the crashes.
-  const isProven = evidence.survivals.has(fingerprint);
-  const limit = isProven ? PROVEN_QUARANTINE_POINTS : QUARANTINE_POINTS;
-  return sumPoints(reports) >= limit ? last.at : null;
-};
-
 /**
- * Lists the prompt parts that may be the cause of the crashes of a quarantined part, itself included.
+ * Lists the sets of prompt parts that may be the cause of the crashes of quarantined parts. Any part of
+ * a set may be the cause, so only a request with all of them is known to be dangerous.
  *
  * @param evidence - crashes and survivals
- * @param part - fingerprint of the quarantined part
- * @returns fingerprints of the parts
+ * @param parts - fingerprints of the quarantined parts
+ * @returns one set for each of the causes
  */
-export const listSuspectedParts = (
-  evidence: CrashEvidence,
-  part: Fingerprint,
-): readonly Fingerprint[] => [
-  ...new Set([part, ...listCommon(evidence, listOpenReports(evidence, part))]),
-];
-
-/**
- * Lists the prompt parts that all requests of the crashes had and that never survived. Any of them
- * may be the cause, so only a request with all of them is known to be dangerous.
- */
-const listCommon = (
-  { survivals }: CrashEvidence,
-  reports: readonly CrashReport[],
-): readonly Fingerprint[] => {
-  const [first, ...others] = reports;
-  return (first?.content.parts ?? []).filter(
-    (part) => !survivals.has(part) && others.every(({ content }) => content.parts.includes(part)),
-  );
+export const listSuspectedSets = (
+  { classes }: CrashEvidence,
+  parts: readonly Fingerprint[],
+): readonly (readonly Fingerprint[])[] => {
+  const leading = listLeadingClasses(classes);
+  const found = new Set(parts.map((part) => classes.byMember.get(part)));
+  return [...leading].filter((cause) => found.has(cause)).map(({ members }) => [...members]);
 };
 
 /**
@@ -169,34 +102,79 @@
   evidence: CrashEvidence,
   fingerprint: Fingerprint,
   now: Millis,
-): boolean =>
-  findQuarantinedAt(evidence, fingerprint, listOpenReports(evidence, fingerprint), now) !== null;
+): boolean => isClassQuarantined(evidence.classes.byMember.get(fingerprint), now);
 
-const removeReport = ({ byFingerprint, reports }: CrashEvidence, key: string): void => {
+const removeReport = (evidence: CrashEvidence, key: string): void => {
+  const { byFingerprint, classes, numbers, reports } = evidence;
   const report = reports.get(key);
-  reports.delete(key);
   if (report === undefined) return;
-  for (const fingerprint of listFingerprints(report.content)) {
+  const fingerprints = listFingerprints(report.content);
+  const number = numbers.get(report) ?? 0;
+  const moves: ClassMoves = new Map();
+  for (const fingerprint of fingerprints) {
     const related = byFingerprint.get(fingerprint);
     related?.delete(report);
     if (related?.size === 0) byFingerprint.delete(fingerprint);
+    removeSuspect(classes, fingerprint, number, moves);
   }
+  reports.delete(key);
+  numbers.delete(report);
+  evidence.fingerprintCount -= fingerprints.length;
+};
+
+const isQuarantineBasedOn = (
+  evidence: CrashEvidence,
+  { content }: CrashReport,
+  now: Millis,
+): boolean =>
+  listFingerprints(content).some((fingerprint) => isQuarantined(evidence, fingerprint, now));
+
+/** Finds the oldest report that no quarantine is based on, other than the newest report. */
+const findUnneeded = (evidence: CrashEvidence, newest: string, now: Millis): string | null => {
+  for (const [key, report] of evidence.reports)
+    if (key !== newest && !isQuarantineBasedOn(evidence, report, now)) return key;
+  return null;
 };
 
-/** Drops the oldest report that no quarantine is based on. */
-const pruneReports = (evidence: CrashEvidence, now: Millis): void => {
-  if (evidence.reports.size <= MAX_CRASH_REPORTS) return;
-  for (const [key, { content }] of evidence.reports) {
-    if (listFingerprints(content).some((fingerprint) => isQuarantined(evidence, fingerprint, now)))
-      continue;
+/**
+ * Drops reports that no quarantine is based on, the oldest first. A quarantine goes, too, when those
+ * that are left hold more fingerprints than fit.
+ */
+const pruneReports = (evidence: CrashEvidence, newest: string, now: Millis): void => {
+  const { reports } = evidence;
+  const isLarge = (): boolean => evidence.fingerprintCount > MAX_CRASH_FINGERPRINTS;
+  while (reports.size > MAX_CRASH_REPORTS || isLarge()) {
+    const [oldest = newest] = reports.keys();
+    const key = findUnneeded(evidence, newest, now) ?? (isLarge() ? oldest : newest);
+    if (key === newest) return;
     removeReport(evidence, key);
-    return;
   }
 };
 
 const formatReport = ({ content, endpoint, progress }: CrashReport): string =>
   [endpoint, progress, ...listFingerprints(content)].join(' ');
 
+const storeReport = (evidence: CrashEvidence, key: string, report: CrashReport): void => {
+  const { byFingerprint, classes, numbers, reports, survivals } = evidence;
+  const { content } = report;
+  const number = evidence.nextNumber;
+  evidence.nextNumber += 1;
+  reports.set(key, report);
+  numbers.set(report, number);
+  const moves: ClassMoves = new Map();
+  const fingerprints = listFingerprints(content);
+  evidence.fingerprintCount += fingerprints.length;
+  for (const fingerprint of fingerprints) {
+    const related = byFingerprint.get(fingerprint) ?? new Set<CrashReport>();
+    byFingerprint.set(fingerprint, related.add(report));
+    const survivedAt = survivals.get(fingerprint) ?? -Infinity;
+    if (survivedAt >= report.at) continue;
+    const kind: SuspectKind = fingerprint === content.whole ? 'whole' : 'part';
+    const proven = survivedAt === -Infinity ? kind : (`proven-${kind}` as const);
+    addSuspect(classes, fingerprint, proven, [number, report], moves);
+  }
+};
+
 /**
  * Adds a crash that this daemon or a peer observed. A repeated report does not count again.
  *
@@ -211,17 +189,15 @@
   now: Millis,
 ): readonly Fingerprint[] => {
   const key = formatReport(report);
-  const fingerprints = listFingerprints(report.content);
   if (evidence.reports.has(key) || now - report.at >= CRASH_RETENTION_MS) return [];
-  const before = fingerprints.filter((fingerprint) => isQuarantined(evidence, fingerprint, now));
-  evidence.reports.set(key, report);
-  for (const fingerprint of fingerprints) {
-    const related = evidence.byFingerprint.get(fingerprint) ?? new Set<CrashReport>();
-    evidence.byFingerprint.set(fingerprint, related.add(report));
-  }
-  pruneReports(evidence, now);
+  const fingerprints = [...new Set(listFingerprints(report.content))];
+  const before = new Set(
+    fingerprints.filter((fingerprint) => isQuarantined(evidence, fingerprint, now)),
+  );
+  storeReport(evidence, key, report);
+  pruneReports(evidence, key, now);
   return fingerprints.filter(
-    (fingerprint) => !before.includes(fingerprint) && isQuarantined(evidence, fingerprint, now),
+    (fingerprint) => !before.has(fingerprint) && isQuarantined(evidence, fingerprint, now),
   );
 };
 
@@ -231,16 +207,41 @@
  * @param evidence - evidence to update
  * @param survival - fingerprint and instant
  */
-export const addSurvival = ({ survivals }: CrashEvidence, { at, fingerprint }: Survival): void => {
+export const addSurvival = (
+  { classes, survivals }: CrashEvidence,
+  { at, fingerprint }: Survival,
+): void => {
   const newest = Math.max(at, survivals.get(fingerprint) ?? at);
   survivals.delete(fingerprint);
   survivals.set(fingerprint, newest);
+  clearSuspect(classes, fingerprint, newest);
   const [oldest] = survivals.keys();
   if (survivals.size > MAX_PROVEN_FINGERPRINTS && oldest !== undefined) survivals.delete(oldest);
 };
 
+/** Finds a prompt part of a class that may be the cause of crashes and of which a request has all parts. */
+const findDangerousPart = (
+  { classes }: CrashEvidence,
+  parts: readonly Fingerprint[],
+  now: Millis,
+): Fingerprint | null => {
+  const leading = listLeadingClasses(classes);
+  if (leading.size === 0) return null;
+  const counts = new Map<SuspectClass, number>();
+  for (const part of new Set(parts)) {
+    const suspects = classes.byMember.get(part);
+    if (suspects === undefined || !leading.has(suspects)) continue;
+    if (!isClassQuarantined(suspects, now)) continue;
+    const count = (counts.get(suspects) ?? 0) + 1;
+    counts.set(suspects, count);
+    if (suspects.kind === 'proven-part' || count === suspects.members.size) return part;
+  }
+  return null;
+};
+
 /**
- * Checks whether a request may be sent to an endpoint.
+ * Checks whether a request may be sent to an endpoint. The work grows with the number of its parts and
+ * not with that of the parts of other requests.
  *
  * @param evidence - crashes and survivals
  * @param content - fingerprints of the request's content
@@ -250,18 +251,14 @@
  */
 export const checkContent = (
   evidence: CrashEvidence,
-  content: ContentFingerprints,
+  { parts, whole }: ContentFingerprints,
   now: Millis,
 ): ContentCheck => {
-  for (const fingerprint of listFingerprints(content)) {
-    const reports = listOpenReports(evidence, fingerprint);
-    const at = findQuarantinedAt(evidence, fingerprint, reports, now);
-    if (at === null) continue;
-    const isComplete = listCommon(evidence, reports).every((part) => content.parts.includes(part));
-    if (fingerprint !== content.whole && !isComplete) continue;
-    return { kind: 'quarantined', fingerprint, leftMs: at + CRASH_RETENTION_MS - now };
-  }
-  return { kind: 'accepted' };
+  const isWhole = whole !== null && isQuarantined(evidence, whole, now);
+  const fingerprint = isWhole ? whole : findDangerousPart(evidence, parts, now);
+  if (fingerprint === null) return { kind: 'accepted' };
+  const at = evidence.classes.byMember.get(fingerprint)?.quarantinedAt ?? now;
+  return { kind: 'quarantined', fingerprint, leftMs: at + CRASH_RETENTION_MS - now };
 };
 
 /**
@@ -282,9 +279,6 @@
   return parts.length > 0 ? { whole: null, parts } : content;
 };
 
-const compareReports = (left: CrashReport, right: CrashReport): number =>
-  toPoints(right.progress) - toPoints(left.progress) || right.at - left.at;
-
 /**
  * Lists the newest crashes for the other daemons, the strongest evidence first.
  *
@@ -318,9 +312,7 @@
   limit: number,
 ): readonly CrashReport[] =>
   [...evidence.reports.values()]
-    .filter(({ content }) =>
-      listFingerprints(content).some((fingerprint) => isQuarantined(evidence, fingerprint, now)),
-    )
+    .filter((report) => isQuarantineBasedOn(evidence, report, now))
     .sort(compareReports)
     .slice(0, limit);
 
--- a/packages/decisions/quarantine/partSets.ts
+++ b/packages/decisions/quarantine/partSets.ts
@@ -43,11 +43,10 @@
   now: Millis,
 ): boolean => {
   if (parts.length === 0 || quarantined.size === 0) return false;
+  const own = new Set(parts);
   const isActive = (set: Fingerprint): boolean => (quarantined.get(set)?.expiresAt ?? 0) > now;
   return (
     parts.some(isActive) ||
-    [...partSets].some(
-      (set) => isActive(set) && listParts(set).every((part) => parts.includes(part)),
-    )
+    [...partSets].some((set) => isActive(set) && listParts(set).every((part) => own.has(part)))
   );
 };
--- a/packages/decisions/quarantine/suspicion.ts
+++ b/packages/decisions/quarantine/suspicion.ts
@@ -33,7 +33,7 @@
   addCrash,
   addSurvival,
   createCrashEvidence,
-  listSuspectedParts,
+  listSuspectedSets,
   selectSuspects,
 } from './crashEvidence.js';
 import { formatPartSet, hasQuarantinedParts, isPartSet } from './partSets.js';
@@ -251,9 +251,7 @@
     const report = { endpoint, progress: 'waiting', at: now, content } as const;
     return addCrash(state.partEvidence, report, now);
   });
-  const sets = new Set(
-    added.map((part) => formatPartSet(listSuspectedParts(state.partEvidence, part))),
-  );
+  const sets = listSuspectedSets(state.partEvidence, added).map(formatPartSet);
   let step: SuspicionStep = toStep(state);
   for (const fingerprint of sets) {
     const expiresAt = now + QUARANTINE_DURATION_MS;
--- a/packages/decisions/quarantine/types.ts
+++ b/packages/decisions/quarantine/types.ts
@@ -21,6 +21,23 @@
   readonly parts: readonly Fingerprint[];
 }
 
+/**
+ * Progress of a request when its endpoint crashed. An endpoint that crashes on the content of a
+ * request does so as it begins the answer, so a request that was beginning is a stronger suspect
+ * than one that waited.
+ */
+export type CrashProgress = 'beginning' | 'waiting';
+
+/** A request that an endpoint had and had not answered when it crashed. */
+export interface CrashReport {
+  /** Identity of the endpoint incarnation. */
+  readonly endpoint: string;
+  readonly progress: CrashProgress;
+  readonly at: Millis;
+  /** Content of the request that may be the cause. */
+  readonly content: ContentFingerprints;
+}
+
 /**
  * One start of an endpoint. It identifies a loss, which is counted once although several sources
  * report it.
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -38,7 +38,7 @@
   ForwardingConfiguration,
   ServiceName,
 } from '../decisions/forwarding/types.js';
-import type { CrashProgress } from '../decisions/quarantine/crashEvidence.js';
+import type { CrashProgress } from '../decisions/quarantine/types.js';
 import type { ContentFingerprints, Fingerprint } from '../decisions/quarantine/types.js';
 import type { UsageMessage, WindowNumber } from '../decisions/usage/types.js';
 
@@ -381,7 +381,7 @@
     }
   | { readonly kind: 'load-quarantines' }
   | { readonly kind: 'save-quarantine'; readonly record: QuarantineRecord }
-  | { readonly kind: 'remove-quarantine'; readonly fingerprint: Fingerprint }
+  | { readonly kind: 'remove-quarantines'; readonly fingerprints: readonly Fingerprint[] }
   | {
       readonly kind: 'probe-endpoint';
       readonly key: number;
--- a/packages/gateway/peers/constants.ts
+++ b/packages/gateway/peers/constants.ts
@@ -60,6 +60,12 @@
 export const MAX_REPORTED_SURVIVALS = 12;
 export const CRASH_REPEAT_MS = 3_000;
 
+/**
+ * Limit of the characters of all fingerprints in one report. A crash has a fingerprint for each part of
+ * the prompt, and a report has to fit into a datagram of 64 KB with all else that it says.
+ */
+export const MAX_REPORTED_CRASH_CHARS = 24 * 1024;
+
 /** Limit of the load rows and of the members in one summary. */
 export const MAX_SUMMARY_LOAD_ROWS = 160;
 export const MAX_SUMMARY_MEMBERS = 64;
--- a/packages/gateway/peers/crashReports.ts
+++ b/packages/gateway/peers/crashReports.ts
@@ -1,4 +1,9 @@
-import { CRASH_REPEAT_MS, MAX_REPORTED_CRASHES, MAX_REPORTED_SURVIVALS } from './constants.js';
+import {
+  CRASH_REPEAT_MS,
+  MAX_REPORTED_CRASH_CHARS,
+  MAX_REPORTED_CRASHES,
+  MAX_REPORTED_SURVIVALS,
+} from './constants.js';
 import type { CrashReportRow, PeerReport } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import {
@@ -7,11 +12,8 @@
   listQuarantineCrashes,
   listSurvivals,
 } from '../../decisions/quarantine/crashEvidence.js';
-import type {
-  CrashEvidence,
-  CrashReport,
-  Survival,
-} from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashEvidence, Survival } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashReport } from '../../decisions/quarantine/types.js';
 
 /**
  * `recent`: crashes and survivals of the last `CRASH_REPEAT_MS`. `quarantines`: also those of all
@@ -40,6 +42,26 @@
   now: Millis,
 ): CrashReportRow => [content.whole ?? '', endpoint, progress, Math.round(now - at), content.parts];
 
+const countChars = ({ content: { parts, whole } }: CrashReport): number =>
+  parts.reduce((sum, { length }) => sum + length, whole?.length ?? 0);
+
+/**
+ * Leaves out prompt parts that do not fit into a report. Its crashes then suspect the whole content
+ * alone, at a daemon that does not observe them itself.
+ */
+const limitChars = (reports: readonly CrashReport[]): readonly CrashReport[] => {
+  let leftChars = MAX_REPORTED_CRASH_CHARS;
+  return reports.flatMap((report): readonly CrashReport[] => {
+    const chars = countChars(report);
+    if (chars <= leftChars) {
+      leftChars -= chars;
+      return [report];
+    }
+    const { content } = report;
+    return content.whole === null ? [] : [{ ...report, content: { ...content, parts: [] } }];
+  });
+};
+
 /**
  * Builds the crash report for the other daemons, with ages in place of instants. It repeats what
  * peers reported, so that a report reaches all daemons of a fleet in which each contacts a few.
@@ -62,7 +84,7 @@
   const listed = new Set(survivals.map(({ fingerprint }) => fingerprint));
   const ended =
     scope === 'recent' ? [] : listEndedQuarantines(evidence, now, MAX_REPORTED_SURVIVALS);
-  const rows = [...recent, ...lasting.filter(({ at }) => at < since)];
+  const rows = limitChars([...recent, ...lasting.filter(({ at }) => at < since)]);
   return {
     crashes: rows.map((report) => toCrashRow(report, now)),
     survivals: [...survivals, ...ended.filter(({ fingerprint }) => !listed.has(fingerprint))].map(
--- a/packages/gateway/peers/types.ts
+++ b/packages/gateway/peers/types.ts
@@ -2,7 +2,7 @@
 import type { DataCentreId, EndpointId } from '../../core/ids.js';
 import type { EndpointLoad } from '../../decisions/forwarding/placeAttempt.js';
 import type { GroupName } from '../../decisions/membership/reportGroups.js';
-import type { CrashProgress } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashProgress } from '../../decisions/quarantine/types.js';
 
 /**
  * Load of one daemon's requests on one endpoint. `waitingTokens` are the prompt tokens of requests
--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -75,7 +75,7 @@
   { kind: 'release-copy', source: ENDPOINT, handle: 'h' },
   { kind: 'load-quarantines' },
   { kind: 'save-quarantine', record: { fingerprint: 'f', crashes: [] } },
-  { kind: 'remove-quarantine', fingerprint: 'f' },
+  { kind: 'remove-quarantines', fingerprints: ['f'] },
   { kind: 'probe-endpoint', key: 1, attempt: 1, address: ADDRESS },
 ];
 
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -25,6 +25,7 @@
 import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createFailure } from '../core/verdict.js';
 import type { EndpointIncarnation } from '../decisions/forwarding/types.js';
+import type { Fingerprint } from '../decisions/quarantine/types.js';
 
 /** Adapters that perform the effects of a gateway daemon. */
 export interface GatewayAdapters extends UsageAdapters {
@@ -207,10 +208,13 @@
 };
 
 /** Nothing waits for the result: a record that is not removed expires. */
-const removeQuarantine = (fingerprint: string, adapters: GatewayAdapters): void => {
+const removeQuarantines = (
+  fingerprints: readonly Fingerprint[],
+  adapters: GatewayAdapters,
+): void => {
   handleResult<'saved' | 'failed'>(
-    'remove-quarantine',
-    adapters.quarantines.remove(fingerprint),
+    'remove-quarantines',
+    adapters.quarantines.remove(fingerprints),
     adapters,
     () => 'failed',
     () => undefined,
@@ -354,8 +358,8 @@
     case 'save-quarantine':
       storeQuarantine(effect.record, adapters);
       return;
-    case 'remove-quarantine':
-      removeQuarantine(effect.fingerprint, adapters);
+    case 'remove-quarantines':
+      removeQuarantines(effect.fingerprints, adapters);
       return;
     case 'probe-endpoint':
       probeEndpoint(effect, adapters);
--- a/packages/gateway/quarantine/quarantine.test.ts
+++ b/packages/gateway/quarantine/quarantine.test.ts
@@ -7,6 +7,7 @@
 import { createRandomSource } from '../../core/random.js';
 import { CORRELATED_CRASH_MS, CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
+import type { ContentFingerprints } from '../../decisions/quarantine/types.js';
 import type { GatewayEffect, QuarantineEvent } from '../events.js';
 import { buildCrashMessage, readCrashMessage } from '../peers/crashReports.js';
 
@@ -25,7 +26,10 @@
     ({ state } = step);
     return step.effects;
   };
-  const recordCrash = (endpoint: string, content = CONTENT): readonly GatewayEffect[] => {
+  const recordCrash = (
+    endpoint: string,
+    content: ContentFingerprints = CONTENT,
+  ): readonly GatewayEffect[] => {
     clock.advance(CORRELATED_CRASH_MS);
     return post({
       to: 'quarantine',
@@ -50,6 +54,9 @@
   };
 };
 
+/** Largest datagram over IPv4. */
+const MAX_DATAGRAM_BYTES = 65_507;
+
 const findRecords = (effects: readonly GatewayEffect[]): readonly QuarantineRecord[] =>
   effects.flatMap((effect) => (effect.kind === 'save-quarantine' ? [effect.record] : []));
 
@@ -99,7 +106,9 @@
     fingerprint: 'm/old',
     crashes: [['', 'e-1', 'beginning', CRASH_RETENTION_MS, ['m/old']]],
   };
-  t.deepEqual(harness.post(load([expired])), [{ kind: 'remove-quarantine', fingerprint: 'm/old' }]);
+  t.deepEqual(harness.post(load([expired])), [
+    { kind: 'remove-quarantines', fingerprints: ['m/old'] },
+  ]);
   harness.recordCrash('e-1');
   harness.recordCrash('e-2');
   const answered = {
@@ -107,7 +116,7 @@
     kind: 'answer-observed',
     fingerprints: CONTENT.parts,
   } as const;
-  t.deepEqual(harness.post(answered), [{ kind: 'remove-quarantine', fingerprint: 'm/deadly' }]);
+  t.deepEqual(harness.post(answered), [{ kind: 'remove-quarantines', fingerprints: ['m/deadly'] }]);
   t.is(harness.check(), 'accepted');
 });
 
@@ -156,7 +165,7 @@
     kind: 'answer-observed',
     fingerprints: ended.parts,
   } as const;
-  t.deepEqual(harness.post(answered), [{ kind: 'remove-quarantine', fingerprint: 'm/ended' }]);
+  t.deepEqual(harness.post(answered), [{ kind: 'remove-quarantines', fingerprints: ['m/ended'] }]);
   const timers = listTimers(harness.post({ ...RESTORED, epoch: 3 }));
   t.deepEqual(
     timers.map(({ event }) => event),
@@ -170,7 +179,7 @@
   const effects = timers.flatMap(({ event }) => harness.post(event as QuarantineEvent));
   t.deepEqual(
     effects.map(({ kind }) => kind),
-    ['save-quarantine', 'remove-quarantine'],
+    ['save-quarantine', 'remove-quarantines'],
   );
   t.deepEqual(harness.post({ ...RESTORED, epoch: 3 }), []);
 });
@@ -250,3 +259,32 @@
   second.post({ to: 'quarantine', kind: 'crashes-reported', ...report });
   t.is(second.check(), 'accepted');
 });
+
+/** Numbers of parts of one prompt. */
+const PART_COUNTS = [2, 256];
+
+// Guards against a gateway that stands still, since each part of a long prompt lets it check all requests
+// again, write a line or call the store (review/10).
+test('what a crash and an answer cause does not grow with the parts of the prompt', (t) => {
+  const [small, large] = PART_COUNTS.map((count) => {
+    const parts = Array.from({ length: count }, (_, index) => `m/${index.toString()}`);
+    const content = { whole: 'w', parts };
+    const harness = createHarness();
+    harness.recordCrash('e-1', content);
+    const crashed = harness.recordCrash('e-2', content);
+    const answered = { to: 'quarantine', kind: 'answer-observed', fingerprints: parts } as const;
+    return [...crashed, ...harness.post(answered)].map(({ kind }) => kind);
+  });
+  t.deepEqual(small, large);
+});
+
+// Guards against a report of long prompts that does not fit into a datagram, so that peers hear nothing.
+test('a report leaves out the parts of prompts that do not fit', (t) => {
+  const parts = Array.from({ length: 2_000 }, (_, index) => `m/part-${index.toString()}`);
+  const harness = createHarness();
+  for (const endpoint of ['e-1', 'e-2', 'e-3'])
+    harness.recordCrash(endpoint, { whole: `w-${endpoint}`, parts });
+  const { crashes } = harness.buildFullReport();
+  t.is(crashes.length, 3);
+  t.true(JSON.stringify(crashes).length < MAX_DATAGRAM_BYTES);
+});
--- a/packages/gateway/quarantine/quarantine.ts
+++ b/packages/gateway/quarantine/quarantine.ts
@@ -4,7 +4,7 @@
   REWRITE_SPREAD_MS,
   STORE_RETRY_MS,
 } from './constants.js';
-import type { QuarantineLoad } from './types.js';
+import type { QuarantineLoad, QuarantineRecord } from './types.js';
 import { buildWrittenEvidence, recordWrite } from './writes.js';
 import type { QuarantineWrite, QuarantineWrites } from './writes.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -18,7 +18,8 @@
   isQuarantined,
   selectSuspects,
 } from '../../decisions/quarantine/crashEvidence.js';
-import type { CrashEvidence, CrashReport } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashEvidence } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashReport } from '../../decisions/quarantine/types.js';
 import type { Fingerprint } from '../../decisions/quarantine/types.js';
 import { CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import type { GatewayEffect, QuarantineEvent } from '../events.js';
@@ -47,24 +48,30 @@
   event: { to: 'peers', kind: 'report-changed' },
 };
 
+/** Lets the requests that wait be checked, once for all that was quarantined in one decision. */
+const CHECK_REQUESTS: GatewayEffect = {
+  kind: 'post',
+  event: { to: 'requests', kind: 'content-quarantined' },
+};
+
+/** One line for all fingerprints that a crash put into quarantine; a request has one for each part. */
 const describeQuarantine = (
   { evidence }: QuarantineState,
-  fingerprint: Fingerprint,
+  added: readonly Fingerprint[],
+  first: Fingerprint,
   source: QuarantineSource,
 ): readonly GatewayEffect[] => [
-  { kind: 'post', event: { to: 'requests', kind: 'content-quarantined' } },
   { kind: 'count', name: 'gateway_quarantined_total', labels: { source } },
   {
     kind: 'log',
     name: 'request-quarantined',
     details: {
       data: {
-        fingerprint,
+        fingerprint: first,
+        fingerprints: added.length,
         source,
-        endpoints: [...(evidence.byFingerprint.get(fingerprint) ?? [])].map(
-          ({ endpoint }) => endpoint,
-        ),
-        survivals: evidence.survivals.has(fingerprint) ? 'some' : 'none',
+        endpoints: [...(evidence.byFingerprint.get(first) ?? [])].map(({ endpoint }) => endpoint),
+        survivals: evidence.survivals.has(first) ? 'some' : 'none',
       },
     },
   },
@@ -76,13 +83,17 @@
   source: QuarantineSource,
   clock: Clock,
 ): readonly GatewayEffect[] => {
-  const added = reports.flatMap((report) => addCrash(state.evidence, report, clock.now()));
-  const [first] = added;
-  if (first === undefined) return [];
-  const described = added.flatMap((fingerprint) => describeQuarantine(state, fingerprint, source));
-  return hasObserved(state, first)
-    ? [...described, storeQuarantine(state, first, clock)]
-    : described;
+  let stored: Fingerprint | null = null;
+  const described = reports.flatMap((report) => {
+    const added = addCrash(state.evidence, report, clock.now());
+    const [first] = added;
+    if (first === undefined) return [];
+    stored ??= first;
+    return describeQuarantine(state, added, first, source);
+  });
+  if (stored === null) return [];
+  const saved = hasObserved(state, stored) ? [storeQuarantine(state, stored, clock)] : [];
+  return [CHECK_REQUESTS, ...described, ...saved];
 };
 
 /**
@@ -125,21 +136,35 @@
     const event = { to: 'quarantine', kind: 'load-due' } as const;
     return [{ kind: 'schedule', delayMs: STORE_RETRY_MS, event }];
   }
-  return result.records.flatMap(({ crashes, fingerprint }): readonly GatewayEffect[] => {
-    const isExpired = crashes.every(([, , , ageMs]) => ageMs >= CRASH_RETENTION_MS);
-    if (isExpired) return [{ kind: 'remove-quarantine', fingerprint }];
-    const report = readCrashMessage({ crashes, survivals: [] }, clock.now());
-    return addReports(state, report.crashes, 'store', clock);
-  });
+  const now = clock.now();
+  const isExpired = ({ crashes }: QuarantineRecord): boolean =>
+    crashes.every(([, , , ageMs]) => ageMs >= CRASH_RETENTION_MS);
+  const expired = result.records.filter(isExpired).map(({ fingerprint }) => fingerprint);
+  const reports = result.records
+    .filter((record) => !isExpired(record))
+    .flatMap(({ crashes }) => readCrashMessage({ crashes, survivals: [] }, now).crashes);
+  return [...removeRecords(expired), ...addReports(state, reports, 'store', clock)];
 };
 
-const removeQuarantine = (
-  state: QuarantineState,
-  fingerprint: Fingerprint,
+/** Removes what may be stored under these fingerprints, in one call of the store. */
+const removeRecords = (fingerprints: readonly Fingerprint[]): readonly GatewayEffect[] =>
+  fingerprints.length === 0 ? [] : [{ kind: 'remove-quarantines', fingerprints }];
+
+/**
+ * Removes quarantines. A quarantine is stored under the first of its fingerprints or one that was
+ * written before, so the removal of only these has to be remembered.
+ */
+const removeQuarantines = (
+  { writes }: QuarantineState,
+  fingerprints: readonly Fingerprint[],
   now: Millis,
-): GatewayEffect => {
-  recordWrite(state.writes, fingerprint, { kind: 'removed', at: now });
-  return { kind: 'remove-quarantine', fingerprint };
+): readonly GatewayEffect[] => {
+  const [first] = fingerprints;
+  for (const fingerprint of fingerprints) {
+    if (fingerprint === first || writes.byFingerprint.has(fingerprint))
+      recordWrite(writes, fingerprint, { kind: 'removed', at: now });
+  }
+  return removeRecords(fingerprints);
 };
 
 /** A survival ends the quarantine of its fingerprint. */
@@ -153,7 +178,7 @@
     (fingerprint) => evidence.reports.size > 0 && isQuarantined(evidence, fingerprint, now),
   );
   for (const fingerprint of fingerprints) addSurvival(evidence, { fingerprint, at: now });
-  return ended.map((fingerprint) => removeQuarantine(state, fingerprint, now));
+  return removeQuarantines(state, ended, now);
 };
 
 const repeatRemoval = (
@@ -163,7 +188,7 @@
 ): readonly GatewayEffect[] =>
   isQuarantined(state.evidence, fingerprint, now)
     ? []
-    : [removeQuarantine(state, fingerprint, now)];
+    : removeQuarantines(state, [fingerprint], now);
 
 const scheduleRewrite = (
   fingerprint: Fingerprint,
--- a/packages/gateway/quarantine/types.ts
+++ b/packages/gateway/quarantine/types.ts
@@ -18,5 +18,6 @@
 export interface QuarantineStore {
   readonly load: () => Promise<QuarantineLoad>;
   readonly save: (record: QuarantineRecord) => Promise<'saved' | 'failed'>;
-  readonly remove: (fingerprint: Fingerprint) => Promise<'saved' | 'failed'>;
+  /** Removes the records of fingerprints in one call; most of them may have none. */
+  readonly remove: (fingerprints: readonly Fingerprint[]) => Promise<'saved' | 'failed'>;
 }
--- a/packages/gateway/quarantine/writes.ts
+++ b/packages/gateway/quarantine/writes.ts
@@ -6,7 +6,8 @@
   addSurvival,
   createCrashEvidence,
 } from '../../decisions/quarantine/crashEvidence.js';
-import type { CrashEvidence, CrashReport } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashEvidence } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashReport } from '../../decisions/quarantine/types.js';
 import type { Fingerprint } from '../../decisions/quarantine/types.js';
 import type { StoreEpoch } from '../types.js';
 
--- a/packages/gateway/requests/attemptEnds.ts
+++ b/packages/gateway/requests/attemptEnds.ts
@@ -2,7 +2,7 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { EventDetails } from '../../core/events/types.js';
 import type { AttemptObservation } from '../../decisions/forwarding/endpointHealth.js';
-import type { CrashProgress } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashProgress } from '../../decisions/quarantine/types.js';
 import type { AttemptFailure } from '../events.js';
 
 /** How an attempt ended without a usable answer. */
--- a/packages/gateway/requests/content.ts
+++ b/packages/gateway/requests/content.ts
@@ -5,9 +5,13 @@
 import type { ContentFingerprints, Fingerprint } from '../../decisions/quarantine/types.js';
 import type { ForwardRequest } from '../../decisions/forwarding/types.js';
 
+/** Longest fingerprint of a prompt part. Quarantines are stored under them, in keys of 255 bytes. */
+const MAX_FINGERPRINT_CHARS = 120;
+
 /**
  * Lists the fingerprints of the prompt parts that a request can share with others. The same part
- * may crash one model and not another. The last part belongs to the request alone.
+ * may crash one model and not another. The last part belongs to the request alone. Parts with long
+ * names have none; without that limit, a long name of the model would count once for each part.
  *
  * @param request - request
  * @returns one fingerprint for each part
@@ -15,8 +19,14 @@
 export const listPartFingerprints = ({
   demand,
   promptParts,
-}: ForwardRequest): readonly Fingerprint[] =>
-  promptParts.slice(0, -1).map((part) => `${demand?.model ?? ''}/${part}`);
+}: ForwardRequest): readonly Fingerprint[] => {
+  const model = demand?.model ?? '';
+  const maxPartChars = MAX_FINGERPRINT_CHARS - model.length - 1;
+  return promptParts
+    .slice(0, -1)
+    .filter(({ length }) => length <= maxPartChars)
+    .map((part) => `${model}/${part}`);
+};
 
 /**
  * Computes the fingerprints of a request's content.
--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -3,7 +3,7 @@
 import { failRequest } from './outcomes.js';
 import { endAttempt } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
-import type { CrashProgress } from '../../decisions/quarantine/crashEvidence.js';
+import type { CrashProgress } from '../../decisions/quarantine/types.js';
 import type { AttemptFailure, ProbeResult } from '../events.js';
 
 /**
