Decide once for each service which version serves and which is on trial

Callers saw: an operator ordered a service to a bad version and later back to the one that served all the while. An order that named the only version was an outage for as long as it stood.

Cause: isMoveTarget took the target of the newest order for the new version. An order names a version, and does not tell whether it served before; a version on trial ceased to be one with the next order.

A gateway that starts after earlier orders goes by age. version-roles (4017) logs each change; before, no line told which version got requests.

The states of peers and requests that tests of candidates need are a fixture now.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -331,6 +331,11 @@
     level: 'info',
     text: 'The engine of a silent stream answered on a new connection whether it runs the request.',
   },
+  'version-roles': {
+    number: 4017,
+    level: 'info',
+    text: 'The versions of a service that serve, or that were ordered and get no requests, have changed.',
+  },
   'run-stop': {
     number: 5010,
     level: 'info',
--- a/packages/gateway/classify.ts
+++ b/packages/gateway/classify.ts
@@ -57,6 +57,8 @@
     case 'report-due':
     case 'moves-changed':
     case 'move-hold-due':
+    case 'versions-changed':
+    case 'serving-check-due':
     case 'deadline-reached':
     case 'placement-due':
     case 'room-due':
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -27,7 +27,7 @@
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
 import type { EventDetails } from '../core/events/types.js';
-import type { CustomerId, DataCentreId, EndpointId } from '../core/ids.js';
+import type { CustomerId, DataCentreId, EndpointId, VersionName } from '../core/ids.js';
 import type { Failure } from '../core/verdict.js';
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type { EndpointStatement } from '../decisions/forwarding/statements.js';
@@ -38,6 +38,7 @@
   ForwardingConfiguration,
   ServiceName,
 } from '../decisions/forwarding/types.js';
+import type { RegisteredVersion } from '../decisions/forwarding/versionRoles.js';
 import type { CrashProgress } from '../decisions/quarantine/types.js';
 import type { ContentFingerprints, Fingerprint } from '../decisions/quarantine/types.js';
 import type { UsageMessage, WindowNumber } from '../decisions/usage/types.js';
@@ -166,6 +167,20 @@
     }
   /** The order for a service was not written again after the store was restored. */
   | { readonly kind: 'move-hold-due'; readonly service: string; readonly heldAt: Millis }
+  /** A version of a service got its first endpoint or lost its last one. */
+  | {
+      readonly kind: 'versions-changed';
+      readonly service: ServiceName;
+      readonly versions: readonly RegisteredVersion[];
+    }
+  /** A version that served may still have no endpoint. */
+  | {
+      readonly kind: 'serving-check-due';
+      readonly service: ServiceName;
+      readonly version: VersionName;
+      /** Instant from which it had none. */
+      readonly since: Millis;
+    }
 );
 
 export type RequestsEvent = { readonly to: 'requests' } & (
--- a/packages/gateway/membership/candidates.test.ts
+++ b/packages/gateway/membership/candidates.test.ts
@@ -1,12 +1,14 @@
 import test from 'ava';
+import { buildPeers, createRequests } from './candidates.fixture.js';
 import { listCandidates, listLimits } from './candidates.js';
 import { LIMIT_VALIDITY_MS, MIN_LIMIT_USERS } from '../../decisions/forwarding/constants.js';
 import { NEW_ENDPOINT_HEALTH } from '../../decisions/forwarding/endpointHealth.js';
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
-import type { PeersState } from '../peers/fleet.js';
-import { toReceived } from '../peers/summary.js';
+import { createNewestMoves } from '../moves/moves.js';
 import type { PeerReport } from '../peers/types.js';
 import { findRegistered } from './holders.js';
+import { addIndexed, createVersionIndex } from './versions.js';
+import type { VersionIndex } from './versions.js';
 import { recordIncarnation } from '../statements/incarnations.js';
 import type { StatedIncarnations } from '../statements/incarnations.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
@@ -29,26 +31,10 @@
   limits: [],
 };
 
-const buildPeers = (reports: readonly PeerReport[]): PeersState => {
-  const hosts = reports.map((report) => ({ report, host: `10.0.0.${report.process.slice(2)}` }));
-  return {
-    daemons: new Map(
-      hosts.map(({ host, report: { process } }) => [
-        host,
-        { host, process, dataCentre: 'dc-a', heardAt: 1_000 },
-      ]),
-    ),
-    members: new Map(hosts.map(({ host }) => [host, 1_000])),
-    reportedSize: null,
-    reports: new Map(hosts.map(({ host, report }) => [host, toReceived(report, 1_000)])),
-    summaries: new Map(),
-    contacted: new Map(),
-    groups: { own: 'all', peers: hosts.map(({ host }) => host), others: new Map() },
-    startedAt: 0,
-    fullReportAt: 0,
-    summarySentAt: 0,
-    changedAt: 0,
-  };
+const buildIndex = (records: readonly EndpointRecord[]): VersionIndex => {
+  const versions = createVersionIndex();
+  for (const record of records) addIndexed(versions, record, undefined);
+  return versions;
 };
 
 const build = (records: readonly EndpointRecord[], out: readonly string[] = []) => ({
@@ -66,6 +52,7 @@
         },
       ]),
     ),
+    versions: buildIndex(records),
     removed: new Map(),
     departed: new Map(),
     gone: new Map(),
@@ -73,18 +60,8 @@
     dataCentresHeld: new Map(),
   },
   peers: buildPeers([REPORT]),
-  requests: {
-    inFlight: new Map(),
-    answerBytes: 0,
-    startedAt: 0,
-    budgets: new Map(),
-    sentTimes: new Map<string, number[]>(),
-    waiting: new Map(),
-    scheduledRooms: new Set<string>(),
-    recentUse: new Map(),
-    urgentNeeds: new Map(),
-  },
-  moves: { orders: new Map(), held: new Map() },
+  requests: createRequests(),
+  moves: createNewestMoves().current,
   statements: { incarnations: new Map() as StatedIncarnations, leaving: new Map() },
 });
 
@@ -118,14 +95,10 @@
 // Guards against a full share of the traffic for a version whose failures are not evaluated.
 test('endpoints of the target version of a move are not candidates', (t) => {
   const sources = build([buildEndpoint('e-1'), buildEndpoint('e-2', { version: 'v2' })]);
-  sources.moves.orders.set('writer', {
-    service: 'writer',
-    targetVersion: 'v2',
-    durationMs: 1_000,
-    offset: 1,
-  });
+  const order = { service: 'writer', targetVersion: 'v2', durationMs: 1_000, offset: 1 };
+  const moves = { ...sources.moves, orders: new Map([['writer', order]]) };
   t.deepEqual(
-    list(sources).map(({ record }) => record.id),
+    list({ ...sources, moves }).map(({ record }) => record.id),
     ['e-1'],
   );
 });
--- a/packages/gateway/membership/candidates.ts
+++ b/packages/gateway/membership/candidates.ts
@@ -9,7 +9,7 @@
 import type { EndpointRecord, ServiceName } from '../../decisions/forwarding/types.js';
 import { chooseByRendezvous } from '../../decisions/membership/rendezvous.js';
 import type { StringHash } from '../../decisions/membership/rendezvous.js';
-import { isMoveTarget } from '../moves/moves.js';
+import { listExcludedVersions } from '../moves/moves.js';
 import type { MovesState } from '../moves/moves.js';
 import { countPeerRequests, listPeerProcesses, sumPeerLoad } from '../peers/fleet.js';
 import type { PeersState } from '../peers/fleet.js';
@@ -69,9 +69,7 @@
 
 /**
  * Lists the endpoints of a service for a placement, without those in data centres that operators
- * took out of service. While there is an order to move a service to another version, the endpoints
- * of that version receive no requests: a bad version cannot be detected in time without evidence
- * from all daemons.
+ * took out of service and those of versions on trial.
  *
  * @param service - service of the request
  * @param sources - states of membership, peers, requests, moves and statements
@@ -87,10 +85,12 @@
 ): readonly Candidate[] => {
   const candidates: Candidate[] = [];
   const ownLoads = sumOwnLoads(requests);
+  const present = new Set(membership.versions.services.get(service)?.keys());
+  const excluded = listExcludedVersions(moves, service, present);
   for (const known of membership.endpoints.values()) {
     const { health, record, recordedAt } = known;
     if (record.service !== service || membership.dataCentresOut.has(record.dataCentre)) continue;
-    if (isMoveTarget(moves, service, record.version)) continue;
+    if (excluded.has(record.version)) continue;
     const stated = findStatements(statements.incarnations, record);
     const own = ownLoads.get(record.id) ?? NO_LOAD;
     const isCold = now < recordedAt + record.coldForMs;
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -9,6 +9,8 @@
 import type { DepartedEndpoint } from './holders.js';
 import { isOutdated, isSameRecord, recordGone } from './recordOrder.js';
 import type { GoneIncarnations } from './recordOrder.js';
+import { addIndexed, createVersionIndex, notifyVersions, removeIndexed } from './versions.js';
+import type { VersionIndex } from './versions.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
@@ -43,6 +45,7 @@
 export interface MembershipState extends DataCentresState {
   readonly loaded: 'yes' | 'no';
   readonly endpoints: Map<EndpointId, KnownEndpoint>;
+  readonly versions: VersionIndex;
   /**
    * Instants at which this daemon learnt of the removal of endpoints that were not reported as
    * leaving before; above `MAX_REMOVED_ENDPOINTS` the oldest is dropped.
@@ -107,13 +110,14 @@
 ];
 
 const pruneEndpoint = (
-  { departed, endpoints, gone, removed }: MembershipState,
+  { departed, endpoints, gone, removed, versions }: MembershipState,
   known: KnownEndpoint,
   removal: RemovalCertainty['kind'],
   now: Millis,
 ) => {
   const { id } = known.record;
   endpoints.delete(id);
+  removeIndexed(versions, known.record);
   recordDeparted(departed, known, now);
   recordGone(gone, known.record, removal === 'certain' ? 'ignored' : 'applied');
   // The other daemons already know of an endpoint that was reported as leaving.
@@ -141,7 +145,7 @@
 });
 
 const registerEndpoint = (
-  { endpoints, gone }: MembershipState,
+  { endpoints, gone, versions }: MembershipState,
   registered: EndpointRecord,
   removals: RemovalCertainty,
   now: Millis,
@@ -158,6 +162,7 @@
   const health = isNew ? NEW_ENDPOINT_HEALTH : known.health;
   const leavingAt = record.phase === 'leaving' ? (known?.leavingAt ?? now) : null;
   if (record.phase === 'leaving') recordGone(gone, record, isLeaving ? 'ignored' : 'applied');
+  addIndexed(versions, record, known?.record);
   endpoints.set(record.id, {
     record,
     health,
@@ -315,6 +320,7 @@
       {
         loaded: 'no',
         endpoints: new Map(),
+        versions: createVersionIndex(),
         removed: new Map(),
         departed: new Map(),
         gone: inputs.gone,
@@ -328,7 +334,7 @@
       case 'registrations-changed':
         return {
           state: { ...state, loaded: 'yes' },
-          effects: applyRegistrations(state, event, now),
+          effects: [...applyRegistrations(state, event, now), ...notifyVersions(state.versions)],
         };
       case 'data-centres-changed':
         return { state, effects: applyDataCentres(state, event, now) };
@@ -341,7 +347,13 @@
       case 'report-read':
         return { state, effects: applyReport(state, event.endpoint, event.report, now) };
       case 'removal-due':
-        return { state, effects: applyDelayedRemoval(state, event.id, event.removedAt, now) };
+        return {
+          state,
+          effects: [
+            ...applyDelayedRemoval(state, event.id, event.removedAt, now),
+            ...notifyVersions(state.versions),
+          ],
+        };
       default:
         return assertNever(event);
     }
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -3,19 +3,32 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
+import type { VersionName } from '../../core/ids.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
+import { isExcluded } from '../../decisions/forwarding/versionRoles.js';
 import type { GatewayEffect, MovesEvent } from '../events.js';
 import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 import type { MoveOrder } from '../types.js';
+import {
+  applyAbsence,
+  applyFirstRead,
+  applyOrder,
+  applyRegistered,
+  createServiceVersions,
+} from './serviceVersions.js';
+import type { ServiceVersions, VersionedService } from './serviceVersions.js';
 
 /** Current orders to move services to other versions. */
 export interface MovesState {
+  /** Whether the orders were read. */
+  readonly loaded: 'yes' | 'no';
   readonly orders: ReadonlyMap<ServiceName, MoveOrder>;
   /**
    * Orders that the copy from which the store was restored lacks, or has in another version. They
    * still count beside those of the copy, as either may be the newer one.
    */
   readonly held: ReadonlyMap<ServiceName, HeldOrder>;
+  readonly versions: ReadonlyMap<ServiceName, ServiceVersions>;
 }
 
 /** Order that a restored store lacks, with the instant at which that was read. */
@@ -38,7 +51,7 @@
  * @returns the newest orders
  */
 export const createNewestMoves = (): NewestMoves => ({
-  current: { orders: new Map(), held: new Map() },
+  current: { loaded: 'no', orders: new Map(), held: new Map(), versions: new Map() },
 });
 
 type MovesChanged = Extract<MovesEvent, { kind: 'moves-changed' }>;
@@ -59,6 +72,40 @@
   },
 ];
 
+const findVersions = ({ loaded, versions }: MovesState, service: ServiceName): ServiceVersions =>
+  versions.get(service) ?? createServiceVersions(loaded === 'yes' ? 'complete' : 'unread');
+
+const updateVersions = (
+  state: MovesState,
+  { effects, service, versions }: VersionedService,
+): Step<MovesState, GatewayEffect> => ({
+  state: { ...state, versions: new Map(state.versions).set(service, versions) },
+  effects,
+});
+
+/** Takes the orders into account that were not known before, and that all were read. */
+const applyOrders = (
+  state: MovesState,
+  known: MovesState,
+  changes: MovesChanged['changes'],
+): Step<MovesState, GatewayEffect> => {
+  const effects: GatewayEffect[] = [];
+  let { versions } = state;
+  const update = (updated: VersionedService): void => {
+    versions = new Map(versions).set(updated.service, updated.versions);
+    effects.push(...updated.effects);
+  };
+  for (const change of changes) {
+    if (change.kind !== 'move-ordered') continue;
+    const { offset, service, targetVersion } = change.order;
+    if (known.orders.get(service)?.offset === offset) continue;
+    update(applyOrder(service, findVersions({ ...state, versions }, service), targetVersion));
+  }
+  if (state.loaded === 'yes') return { state: { ...state, versions }, effects };
+  for (const [service, unread] of versions) update(applyFirstRead(service, unread));
+  return { state: { ...state, versions, loaded: 'yes' }, effects };
+};
+
 /** Applies the records in the order of the feed, in which one may replace the one before. */
 const applyChanges = (
   state: MovesState,
@@ -82,7 +129,9 @@
   for (const { order } of [...held.values()]) {
     if (isSameOrder(order, orders.get(order.service))) held.delete(order.service);
   }
-  return { state: { orders, held }, effects: missing.flatMap((order) => holdOrder(order, now)) };
+  const ordered = applyOrders({ ...state, orders, held }, state, changes);
+  const holds = missing.flatMap((order) => holdOrder(order, now));
+  return { state: ordered.state, effects: [...ordered.effects, ...holds] };
 };
 
 const isSameOrder = (order: MoveOrder, other: MoveOrder | undefined): boolean =>
@@ -104,22 +153,35 @@
   return { ...state, held };
 };
 
+/** Versions that an order in force names, or one that a restored store lacks. */
+const listTargets = (
+  { held, orders }: MovesState,
+  service: ServiceName,
+): ReadonlySet<VersionName> =>
+  new Set(
+    [orders.get(service), held.get(service)?.order].flatMap((order) =>
+      order === undefined ? [] : [order.targetVersion],
+    ),
+  );
+
 /**
- * Reports whether a service is being moved to a version, by an order in force or by one that a
- * restored store lacks.
+ * Lists the versions whose endpoints get no requests, since the service was ordered to move to them and
+ * another version serves.
  *
- * @param state - orders
- * @param service - service of the endpoint
- * @param version - version of the endpoint
- * @returns true when the version is the target of an order
+ * @param state - orders and versions
+ * @param service - service of the endpoints
+ * @param present - versions of the endpoints
+ * @returns those versions whose endpoints are no candidates
  */
-export const isMoveTarget = (
-  { held, orders }: MovesState,
+export const listExcludedVersions = (
+  state: MovesState,
   service: ServiceName,
-  version: string,
-): boolean =>
-  orders.get(service)?.targetVersion === version ||
-  held.get(service)?.order.targetVersion === version;
+  present: ReadonlySet<VersionName>,
+): ReadonlySet<VersionName> => {
+  const { roles } = findVersions(state, service);
+  const targets = listTargets(state, service);
+  return new Set([...present].filter((version) => isExcluded(roles, targets, version, present)));
+};
 
 const decideMoves = (
   state: MovesState,
@@ -131,6 +193,16 @@
       return applyChanges(state, event, now);
     case 'move-hold-due':
       return toStep<MovesState, GatewayEffect>(endHold(state, event.service, event.heldAt));
+    case 'versions-changed':
+      return updateVersions(
+        state,
+        applyRegistered(event.service, findVersions(state, event.service), event.versions, now),
+      );
+    case 'serving-check-due':
+      return updateVersions(
+        state,
+        applyAbsence(event.service, findVersions(state, event.service), event.version, event.since),
+      );
     default:
       return assertNever(event);
   }
@@ -138,9 +210,9 @@
 
 /**
  * Creates the decision logic of the `moves` child, which keeps the orders to move services to other
- * versions. An order that is missing from a restored store, or replaced there by another one, still
- * counts until the service's order is written again or withdrawn, but for `MISSING_ORDER_HOLD_MS` at
- * most.
+ * versions, and which versions serve or are on trial. An order that is missing from a restored store, or
+ * replaced there by another one, still counts until the service's order is written again or withdrawn,
+ * but for `MISSING_ORDER_HOLD_MS` at most.
  *
  * @param clock - source of the instants of holds
  * @param newest - newest orders, updated by this child only
--- a/packages/gateway/statements/statedFleet.fixture.ts
+++ b/packages/gateway/statements/statedFleet.fixture.ts
@@ -17,6 +17,7 @@
 import { createDataCentres } from '../membership/dataCentres.js';
 import { findHolder, findRegistered } from '../membership/holders.js';
 import { createMembershipLogic } from '../membership/membership.js';
+import { createNewestMoves } from '../moves/moves.js';
 import { createRequestsLogic } from '../requests/requests.js';
 import type { RecordChange } from '../types.js';
 
@@ -107,7 +108,7 @@
           membership: membershipState,
           peers,
           requests: requestsState,
-          moves: { orders: new Map(), held: new Map() },
+          moves: createNewestMoves().current,
           statements: statementsState,
         },
         { process: 'p', hash: hashText },
