--- a/packages/gateway/requests/continuing.ts
+++ b/packages/gateway/requests/continuing.ts
@@ -1,4 +1,5 @@
 import { isHolderUsable, openContinuation, planFromCopy } from './attempts.js';
+import type { AttemptPlan } from './attempts.js';
 import { isProvablyNotRun } from './attemptEnds.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { checkRequestContent } from './content.js';
@@ -40,6 +41,19 @@
 
 const NOT_CONTINUED: ContinuationResult = { outcome: 'not-continued', effects: [] };
 
+/** Continues a generation as planned, if it may be sent again. */
+const continueAs = (
+  forwarding: Forwarding,
+  plan: AttemptPlan,
+  context: RequestsContext,
+): ContinuationResult => {
+  const send = { kind: 'continuation', from: 'copy' } as const;
+  const { decision, effects } = decideFurtherSend(forwarding, send, context);
+  if (decision.kind === 'denied') return { outcome: 'not-continued', effects };
+  const opened = openContinuation(forwarding, plan, decision.permit, context);
+  return { outcome: 'continued', effects: [...effects, ...opened] };
+};
+
 /** Continues a generation from the first of its copies that can be used, if it may be sent again. */
 const continueFromCopy = (
   forwarding: Forwarding,
@@ -51,17 +65,8 @@
   const copy = copies[index];
   const plan = copy === undefined ? null : planFromCopy(forwarding, copy, context);
   if (plan === null) return NOT_CONTINUED;
-  const send = { kind: 'continuation', from: 'copy' } as const;
-  const { decision, effects } = decideFurtherSend(forwarding, send, context);
-  if (decision.kind === 'denied') return { outcome: 'not-continued', effects };
   const fallback = copies[index + 1];
-  const opened = openContinuation(
-    forwarding,
-    fallback === undefined ? plan : { ...plan, fallback },
-    decision.permit,
-    context,
-  );
-  return { outcome: 'continued', effects: [...effects, ...opened] };
+  return continueAs(forwarding, fallback === undefined ? plan : { ...plan, fallback }, context);
 };
 
 const retryAfterPossibleRun = (
@@ -93,17 +98,7 @@
   if (fallback === null || fallback.holder.id === endpoint.id) return NOT_CONTINUED;
   const plan = planFromCopy(forwarding, fallback, context);
   if (plan === null) return NOT_CONTINUED;
-  const send = { kind: 'continuation', from: 'copy' } as const;
-  const { decision, effects } = decideFurtherSend(forwarding, send, context);
-  if (decision.kind === 'denied') return { outcome: 'not-continued', effects };
-  const refusedTargets = new Set([endpoint.id]);
-  const opened = openContinuation(
-    forwarding,
-    { ...plan, refusedTargets },
-    decision.permit,
-    context,
-  );
-  return { outcome: 'continued', effects: [...effects, ...opened] };
+  return continueAs(forwarding, { ...plan, refusedTargets: new Set([endpoint.id]) }, context);
 };
 
 const retryNotRun = (
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -7,6 +7,7 @@
 import { failRequest } from './outcomes.js';
 import { listCandidates } from './placementInputs.js';
 import { computeStallTimeout } from './stallTimeout.js';
+import { buildTransfer } from './transferOrders.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, RunStop } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
@@ -79,21 +80,10 @@
     ?.record ??
   null;
 
-const orderStop = ({ request }: Forwarding, { attempt, target }: RunStop): GatewayEffect => {
-  const source = toIncarnation(attempt.endpoint);
-  return {
-    kind: 'stop-run',
-    key: request.key,
-    attempt: attempt.number,
-    source,
-    order: {
-      requestId: request.id,
-      source: source.address,
-      target: target.address,
-      mode: 'stop',
-    },
-  };
-};
+const orderStop = (forwarding: Forwarding, { attempt, target }: RunStop): GatewayEffect => ({
+  kind: 'stop-run',
+  ...buildTransfer({ attempt, forwarding }, target, 'stop'),
+});
 
 const scheduleCheck = ({ request }: Forwarding, stop: RunStop, delayMs: Millis): GatewayEffect => {
   stop.checks += 1;
--- a/packages/gateway/requests/transferStarts.ts
+++ b/packages/gateway/requests/transferStarts.ts
@@ -8,6 +8,7 @@
 import { computeTransferPriority } from './load.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import { decideFurtherSend } from './sendDecisions.js';
+import { buildTransfer } from './transferOrders.js';
 import { describeTransfer, isTransferNeeded, scheduleNextTransfer } from './transferTurns.js';
 import type { RunningGeneration } from './transferTurns.js';
 import type { Effects, RequestsContext, Transfer } from './types.js';
@@ -15,7 +16,6 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { GatewayEffect } from '../events.js';
-import { toIncarnation } from '../statements/incarnations.js';
 import type { TransferOrder } from '../types.js';
 
 /**
@@ -27,20 +27,10 @@
  * @returns the order
  */
 export const orderTransfer = (
-  { attempt, forwarding }: RunningGeneration,
+  run: RunningGeneration,
   target: EndpointRecord,
   mode: TransferOrder['mode'],
-): GatewayEffect => {
-  const { request } = forwarding;
-  const source = toIncarnation(attempt.endpoint);
-  return {
-    kind: 'start-transfer',
-    key: request.key,
-    attempt: attempt.number,
-    source,
-    order: { requestId: request.id, source: source.address, target: target.address, mode },
-  };
-};
+): GatewayEffect => ({ kind: 'start-transfer', ...buildTransfer(run, target, mode) });
 
 const listGenerationsAt = (
   source: EndpointId,
