Limit what orders to move a service cost a gateway

Callers see no difference.

Change: the moves child updates its map in place, as membership does, and the 64 versions of a service that were ordered last are remembered.

Evidence: "the ordered versions that are remembered are limited" fails without the limit (192 names); the histories of moves.test.ts and platform/versionMoves pass as before.

--- a/packages/decisions/forwarding/versionRoles.ts
+++ b/packages/decisions/forwarding/versionRoles.ts
@@ -1,6 +1,9 @@
 import type { Millis } from '../../core/clock.js';
 import type { VersionName } from '../../core/ids.js';
 
+/** Limit of the versions of a service that are known to have been ordered. */
+export const MAX_NAMED_VERSIONS = 64;
+
 /** A version of a service that has registered endpoints. */
 export interface RegisteredVersion {
   readonly version: VersionName;
@@ -31,6 +34,22 @@
   readonly history: 'unread' | 'newest' | 'complete';
 }
 
+/**
+ * Adds a version that an order names. The one that was named the longest ago is forgotten beyond
+ * `MAX_NAMED_VERSIONS`.
+ *
+ * @param named - versions that the orders before have named
+ * @param target - version that the order names
+ * @returns the named versions, in the order of their last orders
+ */
+export const addNamed = (
+  named: ReadonlySet<VersionName>,
+  target: VersionName,
+): ReadonlySet<VersionName> => {
+  const others = [...named].filter((version) => version !== target);
+  return new Set([...others.slice(-(MAX_NAMED_VERSIONS - 1)), target]);
+};
+
 export const NO_ROLES: VersionRoles = {
   registered: [],
   serving: new Set(),
@@ -49,11 +68,11 @@
   { history, named }: KnownOrders,
 ): VersionName | undefined => {
   if (history !== 'newest' || serving.size > 0 || registered.length < 2) return undefined;
-  return registered.find(
-    (entry) =>
-      named.has(entry.version) &&
-      registered.every((other) => other === entry || isOlder(entry, other)),
-  )?.version;
+  const [first, ...later] = [...registered].sort(
+    (entry, other) => (entry.startedAt ?? 0) - (other.startedAt ?? 0),
+  );
+  if (first === undefined || !named.has(first.version)) return undefined;
+  return later.every((other) => isOlder(first, other)) ? first.version : undefined;
 };
 
 /**
@@ -74,15 +93,10 @@
   for (const { version } of open) {
     if (back === undefined && !orders.named.has(version)) serving.add(version);
   }
-  const trials = [...orders.named, ...open.map(({ version }) => version)];
-  return {
-    registered,
-    serving,
-    onTrial:
-      serving.size === 0
-        ? onTrial
-        : new Set([...onTrial, ...trials.filter((version) => !serving.has(version))]),
-  };
+  const trials = [...orders.named, ...registered.map(({ version }) => version)];
+  const isTrial = (version: VersionName): boolean =>
+    !serving.has(version) && (onTrial.has(version) || serving.size > 0);
+  return { registered, serving, onTrial: new Set(trials.filter(isTrial)) };
 };
 
 /** Reports whether the endpoints of a target were read before the order that they were started for. */
@@ -111,15 +125,17 @@
   target: VersionName,
 ): VersionRoles => {
   const { onTrial, registered, serving } = roles;
-  const others = registered
-    .map(({ version }) => version)
-    .filter((version) => version !== target && (serving.size === 0 || !onTrial.has(version)));
+  const others = new Set(
+    registered
+      .map(({ version }) => version)
+      .filter((version) => version !== target && (serving.size === 0 || !onTrial.has(version))),
+  );
   const nextServing = new Set([...serving, ...others]);
   if (isReadEarly(roles, named, target)) nextServing.delete(target);
   return {
     registered,
     serving: nextServing,
-    onTrial: new Set([...onTrial].filter((version) => !others.includes(version))),
+    onTrial: new Set([...onTrial].filter((version) => !others.has(version))),
   };
 };
 
--- a/packages/gateway/moves/moves.test.ts
+++ b/packages/gateway/moves/moves.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { createMovesLogic, createNewestMoves, listExcludedVersions } from './moves.js';
 import { createVirtualClock } from '../../core/clock.js';
+import { MAX_NAMED_VERSIONS } from '../../decisions/forwarding/versionRoles.js';
 import type { RegisteredVersion } from '../../decisions/forwarding/versionRoles.js';
 import type { MovesEvent } from '../events.js';
 
@@ -88,6 +89,7 @@
   post({ to: 'moves', kind: 'moves-changed', changes: [], scope: 'all' });
   return {
     apply,
+    countNamed: (): number => state.versions.get(SERVICE)?.orders.named.size ?? 0,
     listRegistered: (): readonly string[] => [...registered.keys()],
     listServed: (): readonly string[] => {
       const present = new Set(registered.keys());
@@ -136,3 +138,13 @@
   );
   t.pass();
 });
+
+// Guards against memory, and work for each order, that grow with all orders that were ever given.
+test('the ordered versions that are remembered are limited', (t) => {
+  const moves = startMoves();
+  for (let order = 0; order < 3 * MAX_NAMED_VERSIONS; order += 1) {
+    moves.apply({ kind: 'order', version: `w${order.toString()}` });
+  }
+  t.is(moves.countNamed(), MAX_NAMED_VERSIONS);
+  t.deepEqual(moves.listServed(), [FIRST]);
+});
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -1,22 +1,22 @@
+import {
+  applyAbsence,
+  applyFirstRead,
+  applyOrder,
+  applyRegistered,
+  createServiceVersions,
+} from './serviceVersions.js';
+import type { ServiceVersions, VersionedService } from './serviceVersions.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Clock, Millis } from '../../core/clock.js';
+import type { VersionName } from '../../core/ids.js';
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
-import type { VersionName } from '../../core/ids.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import { isExcluded } from '../../decisions/forwarding/versionRoles.js';
 import type { GatewayEffect, MovesEvent } from '../events.js';
 import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 import type { MoveOrder } from '../types.js';
-import {
-  applyAbsence,
-  applyFirstRead,
-  applyOrder,
-  applyRegistered,
-  createServiceVersions,
-} from './serviceVersions.js';
-import type { ServiceVersions, VersionedService } from './serviceVersions.js';
 
 /** Current orders to move services to other versions. */
 export interface MovesState {
@@ -28,7 +28,8 @@
    * still count beside those of the copy, as either may be the newer one.
    */
   readonly held: ReadonlyMap<ServiceName, HeldOrder>;
-  readonly versions: ReadonlyMap<ServiceName, ServiceVersions>;
+  /** Only the `moves` child updates them, in place. */
+  readonly versions: Map<ServiceName, ServiceVersions>;
 }
 
 /** Order that a restored store lacks, with the instant at which that was read. */
@@ -76,34 +77,29 @@
   versions.get(service) ?? createServiceVersions(loaded === 'yes' ? 'complete' : 'unread');
 
 const updateVersions = (
-  state: MovesState,
-  { effects, service, versions }: VersionedService,
-): Step<MovesState, GatewayEffect> => ({
-  state: { ...state, versions: new Map(state.versions).set(service, versions) },
-  effects,
-});
+  { versions }: MovesState,
+  updated: VersionedService,
+): readonly GatewayEffect[] => {
+  versions.set(updated.service, updated.versions);
+  return updated.effects;
+};
 
 /** Takes the orders into account that were not known before, and that all were read. */
 const applyOrders = (
   state: MovesState,
-  known: MovesState,
   changes: MovesChanged['changes'],
-): Step<MovesState, GatewayEffect> => {
+): readonly GatewayEffect[] => {
   const effects: GatewayEffect[] = [];
-  let { versions } = state;
-  const update = (updated: VersionedService): void => {
-    versions = new Map(versions).set(updated.service, updated.versions);
-    effects.push(...updated.effects);
-  };
   for (const change of changes) {
     if (change.kind !== 'move-ordered') continue;
     const { offset, service, targetVersion } = change.order;
-    if (known.orders.get(service)?.offset === offset) continue;
-    update(applyOrder(service, findVersions({ ...state, versions }, service), targetVersion));
+    if (state.orders.get(service)?.offset === offset) continue;
+    const ordered = applyOrder(service, findVersions(state, service), targetVersion);
+    effects.push(...updateVersions(state, ordered));
   }
-  if (state.loaded === 'yes') return { state: { ...state, versions }, effects };
-  for (const [service, unread] of versions) update(applyFirstRead(service, unread));
-  return { state: { ...state, versions, loaded: 'yes' }, effects };
+  if (state.loaded === 'yes') return effects;
+  const first = [...state.versions].map(([service, unread]) => applyFirstRead(service, unread));
+  return [...effects, ...first.flatMap((updated) => updateVersions(state, updated))];
 };
 
 /** Applies the records in the order of the feed, in which one may replace the one before. */
@@ -129,9 +125,12 @@
   for (const { order } of [...held.values()]) {
     if (isSameOrder(order, orders.get(order.service))) held.delete(order.service);
   }
-  const ordered = applyOrders({ ...state, orders, held }, state, changes);
+  const ordered = applyOrders(state, changes);
   const holds = missing.flatMap((order) => holdOrder(order, now));
-  return { state: ordered.state, effects: [...ordered.effects, ...holds] };
+  return {
+    state: { loaded: 'yes', orders, held, versions: state.versions },
+    effects: [...ordered, ...holds],
+  };
 };
 
 const isSameOrder = (order: MoveOrder, other: MoveOrder | undefined): boolean =>
@@ -193,16 +192,17 @@
       return applyChanges(state, event, now);
     case 'move-hold-due':
       return toStep<MovesState, GatewayEffect>(endHold(state, event.service, event.heldAt));
-    case 'versions-changed':
-      return updateVersions(
-        state,
-        applyRegistered(event.service, findVersions(state, event.service), event.versions, now),
-      );
-    case 'serving-check-due':
-      return updateVersions(
-        state,
-        applyAbsence(event.service, findVersions(state, event.service), event.version, event.since),
-      );
+    case 'versions-changed': {
+      const { service, versions } = event;
+      const known = findVersions(state, service);
+      const updated = applyRegistered(service, known, versions, now);
+      return { state, effects: updateVersions(state, updated) };
+    }
+    case 'serving-check-due': {
+      const { service, since, version } = event;
+      const updated = applyAbsence(service, findVersions(state, service), version, since);
+      return { state, effects: updateVersions(state, updated) };
+    }
     default:
       return assertNever(event);
   }
--- a/packages/gateway/moves/serviceVersions.ts
+++ b/packages/gateway/moves/serviceVersions.ts
@@ -3,6 +3,7 @@
 import type { VersionName } from '../../core/ids.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import {
+  addNamed,
   decideRoles,
   NO_ROLES,
   recordOrder,
@@ -87,7 +88,7 @@
   const { history, named } = orders;
   return decideVersions(service, versions, {
     roles: history === 'unread' ? roles : recordOrder(roles, named, target),
-    orders: { named: new Set([...named, target]), history },
+    orders: { named: addNamed(named, target), history },
     missing,
   });
 };
