Join the chunks of answers to control calls and of the store

Cause: the parser calls back for each chunk, and a read brings ten thousand. The answers of workers had their chunks joined; the client of the platform's services keeps its connections, and the joiner was made for one request.

Change: the joiner leaves the connection when the answer is complete, so that the next request has its own; a connection with bytes behind an answer is closed, as the parser did.

--- a/packages/core/http/pacing/answerChunks.ts
+++ b/packages/core/http/pacing/answerChunks.ts
@@ -39,7 +39,7 @@
 
 /**
  * Joins the chunks of an answer before the parser gets them, which calls back for each: a service can send ten
- * thousand chunks in one read. To be called before the request is sent, on a connection for one request.
+ * thousand chunks in one read. To be called before the request is sent.
  *
  * @param outgoing - request
  * @param onBody - receives the number of bytes of the answer's body and its framing, before they are parsed
@@ -88,9 +88,17 @@
     }
   };
 
+  /** Leaves the connection to the next request; one with bytes that belong to none is closed. */
+  const leaveConnection = (socket: Socket, left: Buffer): void => {
+    socket.off('data', receive);
+    if (left.length > 0) socket.destroy();
+  };
+
   const receive = (bytes: Buffer): void => {
+    const { socket } = outgoing;
     let left = bytes;
     while (left.length > 0 && isOpen()) left = handOnNext(left);
+    if (socket !== null && answer?.complete === true) leaveConnection(socket, left);
   };
 
   outgoing.on('response', (incoming) => {
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -17,6 +17,7 @@
 import { limitOverhead } from '../../core/http/answerLimits.js';
 import { isAnswerStatus } from '../../core/http/answerStatus.js';
 import { reportResets } from '../../core/http/connectionResets.js';
+import { joinAnswerChunks } from '../../core/http/pacing/answerChunks.js';
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import type { MemoryAccount } from '../../core/memory/types.js';
@@ -251,6 +252,7 @@
         const message = error instanceof Error ? error.message : String(error);
         resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
       };
+      joinAnswerChunks(client, () => undefined);
       limitOverhead(
         client,
         () => received.content.length,
