--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -4,7 +4,9 @@
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
   SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
 import { CORRELATED_CRASH_MS } from '../../decisions/quarantine/constants.js';
 import type { RequestsHarness } from './requests.fixture.js';
@@ -16,14 +18,6 @@
     promptParts: ['shared', document, body],
   });
 
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
 const startAnswer = (harness: RequestsHarness, order: AttemptOrder): void => {
   harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -298,6 +298,27 @@
 export const findAttemptOrders = (effects: readonly GatewayEffect[]): readonly AttemptOrder[] =>
   effects.flatMap((effect) => (effect.kind === 'open-attempt' ? [effect.order] : []));
 
+/**
+ * Returns the first attempt that effects open.
+ *
+ * @param effects - effects of an event
+ * @returns the order; throws without one
+ */
+export const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
+  const [order] = findAttemptOrders(effects);
+  if (order === undefined) throw new Error('no attempt was opened');
+  return order;
+};
+
+/**
+ * Returns what the events of an attempt have in common.
+ *
+ * @param order - order that opened the attempt
+ * @returns the receiver and the names of the attempt
+ */
+export const toEvent = ({ attempt, key }: AttemptOrder) =>
+  ({ to: 'requests', key, attempt }) as const;
+
 /**
  * Names the endpoint of an attempt as the source of a transfer.
  *
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -2,9 +2,11 @@
 import {
   buildEvents,
   createRequestsHarness,
-  findEffect,
   findAttemptOrders,
+  findEffect,
+  getOrder,
   SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import {
@@ -13,17 +15,9 @@
   MEMO_ROUTE,
 } from '../../decisions/forwarding/forwarding.fixture.js';
 import { addCrash } from '../../decisions/quarantine/crashEvidence.js';
-import type { AttemptFailure, AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptFailure, AttemptOrder } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
 const reportSent = (harness: RequestsHarness, order: AttemptOrder): void => {
   harness.post({ ...toEvent(order), kind: 'attempt-connected' });
 };
--- a/packages/gateway/requests/runChecks.test.ts
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -5,6 +5,7 @@
   findAttemptOrders,
   findEffect,
   SIGNED_HEAD,
+  toEvent,
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
@@ -16,8 +17,6 @@
 
 const STEP_MS = 10;
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
 const sendEvents = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) =>
   harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(from, to) });
 
--- a/packages/gateway/requests/runStops.test.ts
+++ b/packages/gateway/requests/runStops.test.ts
@@ -6,6 +6,7 @@
   findAttemptOrders,
   findEffect,
   SIGNED_HEAD,
+  toEvent,
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
@@ -26,8 +27,6 @@
 
 const SPOILED = Buffer.from('\u0001\u0002 spoiled\n\n');
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
 const findStops = (effects: readonly GatewayEffect[]) =>
   effects.flatMap((effect) => (effect.kind === 'stop-run' ? [effect] : []));
 
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -5,7 +5,9 @@
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
   SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
@@ -38,14 +40,6 @@
   proof: 'not-run',
 };
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
 const startAnswer = (harness: RequestsHarness, order: AttemptOrder, head = SIGNED_HEAD) => {
   harness.post({ ...toEvent(order), kind: 'attempt-connected' });
   return harness.post({ ...toEvent(order), kind: 'answer-started', head });
--- a/packages/gateway/requests/statedLeaving.test.ts
+++ b/packages/gateway/requests/statedLeaving.test.ts
@@ -4,24 +4,18 @@
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
   RESUMPTION_LIMITS,
   SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder } from '../events.js';
 
 const LEDGERS = ['l-4', 'l-5', 'l-6'];
 const ENGINES = ['e-1', 'e-2', 'e-3'];
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
 const getEndpoint = (order: AttemptOrder): string => order.head.endpointId;
 
 /** Lets endpoints say that they leave; the store lists them as ready all the time. */
--- a/packages/gateway/requests/statedRest.test.ts
+++ b/packages/gateway/requests/statedRest.test.ts
@@ -4,26 +4,20 @@
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
   SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { addRest, REST_RETURN_MS } from '../../decisions/forwarding/rest.js';
 import { MEMO_ROUTE, SWEEP_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder } from '../events.js';
 
 const LEDGERS = ['l-4', 'l-5', 'l-6'];
 const ENGINES = ['e-1', 'e-2', 'e-3'];
 const REST_MS = 4_000;
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
 const getEndpoint = (order: AttemptOrder): string => order.head.endpointId;
 
 const listOthers = (all: readonly string[], order: AttemptOrder): readonly string[] =>
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -2,10 +2,11 @@
 import {
   buildEvents,
   createRequestsHarness,
-  findEffect,
   findAttemptOrders,
+  findEffect,
   RESUMPTION_LIMITS,
   SIGNED_HEAD,
+  toEvent,
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
@@ -17,8 +18,6 @@
 /** Time for which two endpoints may work on the same generation. */
 const MAX_OVERLAP_MS = 400;
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
 const findTransfers = (effects: readonly GatewayEffect[]) =>
   effects.flatMap((effect) => (effect.kind === 'start-transfer' ? [effect] : []));
 
--- a/packages/gateway/requests/tricklingStreams.test.ts
+++ b/packages/gateway/requests/tricklingStreams.test.ts
@@ -1,24 +1,18 @@
 import test from 'ava';
 import {
-  SIGNED_HEAD,
   buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
+  SIGNED_HEAD,
+  toEvent,
 } from './requests.fixture.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder } from '../events.js';
 
 const TRICKLE_MS = 200;
 const LIMIT_MS = 5_000;
 
-const toEvent = ({ attempt, key }: AttemptOrder) => ({ to: 'requests', key, attempt }) as const;
-
-const getOrder = (effects: readonly GatewayEffect[]): AttemptOrder => {
-  const [order] = findAttemptOrders(effects);
-  if (order === undefined) throw new Error('no attempt was opened');
-  return order;
-};
-
 /** Starts a stream whose endpoint has sent three events. */
 const startStream = () => {
   const harness = createRequestsHarness();
