Probe the endpoint of an answer without a length before it counts as complete

The gateways had copies from which they could have gone on.

Cause: the system closes the connections of a crashed process in order, as such an answer ends. A connection that broke led to a probe of its endpoint; one that ended did not.

Change: requests/endProof. The endpoint is probed when an answer without a length ends, a stream or a plain one. If it refuses connections and was not to leave, the answer counts as broken off by a crash.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -9,6 +9,7 @@
 import { END_EVENTS, MAX_WHOLE_ANSWER_BYTES } from './constants.js';
 import { listAnsweredFingerprints } from './content.js';
 import { failAttempt } from './crashes.js';
+import { isEndUnproven, probeEnd } from './endProof.js';
 import { finishStream, sendWholeAnswer } from './outcomes.js';
 import { endAttempt } from './retrying.js';
 import { countRun } from './runCounting.js';
@@ -296,6 +297,7 @@
     const end = { kind: 'broken', message: `the stream ended ${place}` } as const;
     return failAttempt(forwarding, attempt, end, context);
   }
+  if (isEndUnproven(attempt)) return probeEnd(forwarding, attempt, context);
   removeAttempt(forwarding, attempt, context.state);
   const others = [...releaseCopy(attempt), ...cancelAttempts(forwarding, context)];
   return [
@@ -353,6 +355,7 @@
     const message = `the endpoint answered with ${head.status.toString()}`;
     return endAttempt(forwarding, attempt, { kind: 'failed-answer', message }, context);
   }
+  if (isEndUnproven(attempt)) return probeEnd(forwarding, attempt, context);
   removeAttempt(forwarding, attempt, context.state);
   const others = cancelAttempts(forwarding, context);
   return [
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -128,6 +128,7 @@
     streamState: 'open',
     failure: null,
     probe: null,
+    endProof: 'none',
   };
   forwarding.attempts.set(attempt.number, attempt);
   recordSent(state, endpoint.id, now);
--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -36,8 +36,14 @@
   ];
 };
 
-/** Reports whether an endpoint is expected to run; one that leaves may stop at any time. */
-const isExpectedToRun = ({ endpoint }: Attempt, { inputs }: RequestsContext): boolean => {
+/**
+ * Reports whether an endpoint is expected to run; one that leaves may stop at any time.
+ *
+ * @param attempt - attempt at the endpoint
+ * @param context - inputs
+ * @returns false if it is not registered any more, or leaves
+ */
+export const isExpectedToRun = ({ endpoint }: Attempt, { inputs }: RequestsContext): boolean => {
   const state = inputs.findHolder(endpoint);
   return state.kind === 'known' && state.leavingAt === null;
 };
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -13,6 +13,7 @@
 import { drainEndpoint, startNextTransfer } from './transferStarts.js';
 import { checkStreamEnd, handleTransferResult } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
+import { recordProof } from './endProof.js';
 import { endForDrain, expireRequest, sendHedge } from './retrying.js';
 import { checkRun, handleRunState } from './runChecks.js';
 import { sendAttempt } from './sendAttempt.js';
@@ -249,7 +250,9 @@
         ? []
         : failAttempt(forwarding, attempt, event.failure, context);
     case 'endpoint-probed':
-      return endProbedAttempt(forwarding, attempt, event.result, context);
+      return recordProof(attempt, event.result, context) === 'proved'
+        ? finishAnswer(forwarding, attempt, context)
+        : endProbedAttempt(forwarding, attempt, event.result, context);
     case 'hedge-due':
       return attempt.phase === 'answering' ? [] : sendHedge(forwarding, context);
     case 'stall-check-due':
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -101,6 +101,8 @@
   failure: AttemptFailure | null;
   /** Result of that probe; null before it. */
   probe: ProbeResult | null;
+  /** Whether the endpoint was probed since its answer, which has no length, ended with the connection. */
+  endProof: 'none' | 'asked' | 'given';
   /** Number of events received from this endpoint. */
   events: number;
 }
