Suspect requests whose endpoint crashes after their first event

Cause: two events of an answer are a survival, and a crash was evidence only without any. Between the two a request was neither suspected nor cleared.

Change: one constant decides both. A request with one event is suspected, and may still go on elsewhere, as a sound one may have been at its first event by chance.

--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -6,7 +6,7 @@
   holdFallbackAnswer,
   updateHeldBytes,
 } from './answerMemory.js';
-import { END_EVENTS, MAX_WHOLE_ANSWER_BYTES } from './constants.js';
+import { END_EVENTS, MAX_WHOLE_ANSWER_BYTES, SURVIVED_EVENTS } from './constants.js';
 import { listAnsweredFingerprints } from './content.js';
 import { failAttempt } from './crashes.js';
 import { isEndUnproven, probeEnd } from './endProof.js';
@@ -40,12 +40,6 @@
 const isStreaming = (forwarding: Forwarding, attempt: Attempt): boolean =>
   forwarding.route.answer === 'stream' && attempt.head !== null && isSuccess(attempt.head);
 
-/**
- * Number of events after which an endpoint has survived the content of a request: an endpoint that
- * crashes on it does so as it begins the answer.
- */
-const SURVIVED_EVENTS = 2;
-
 const reportSurvival = (forwarding: Forwarding, context: RequestsContext): GatewayEffect[] => {
   const fingerprints = listAnsweredFingerprints(forwarding, context);
   if (fingerprints.length === 0) return [];
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -139,3 +139,9 @@
 
 /** Last event id with which a generation resumes from a copy when its caller has no event yet. */
 export const INITIAL_LAST_EVENT_ID = '0';
+
+/**
+ * Number of events after which an endpoint has survived the content of a request: an endpoint that
+ * crashes on it does so as it begins the answer, and the first event may have left it by then.
+ */
+export const SURVIVED_EVENTS = 2;
--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -1,5 +1,6 @@
 import { cancelAttempts } from './attempts.js';
 import { checkRequestContent, computeFingerprints } from './content.js';
+import { SURVIVED_EVENTS } from './constants.js';
 import { failRequest } from './outcomes.js';
 import { endAttempt } from './retrying.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
@@ -78,13 +79,12 @@
     return endAttempt(forwarding, attempt, failure, context);
   }
   const message = `${failure.message}; the endpoint refuses connections`;
-  // An endpoint crashes as it begins an answer, so the answers that had begun are not the cause.
-  if (attempt.events > 0) {
-    const end = { kind: 'crashed', progress: 'begun', message } as const;
-    return endAttempt(forwarding, attempt, end, context);
-  }
+  const begun = { kind: 'crashed', progress: 'begun', message } as const;
+  if (attempt.events >= SURVIVED_EVENTS) return endAttempt(forwarding, attempt, begun, context);
   const progress = getProgress(forwarding, attempt);
   forwarding.crashedEndpoints += 1;
+  // A request with an event is suspected, and may still go on elsewhere.
+  const end = attempt.events > 0 ? begun : ({ kind: 'crashed', progress, message } as const);
   const { request } = forwarding;
   const { id, startedAt } = attempt.endpoint;
   return [
@@ -99,7 +99,7 @@
         content: computeFingerprints(request, context.inputs),
       },
     },
-    ...endAttempt(forwarding, attempt, { kind: 'crashed', progress, message }, context),
+    ...endAttempt(forwarding, attempt, end, context),
   ];
 };
 
--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -127,6 +127,40 @@
   t.is(harness.quarantine.evidence.reports.size, 1);
 });
 
+/** Sends a request whose engine crashes after some events of its answer. */
+const sendBreaking = (harness: RequestsHarness, path: string, body: string, events: number) => {
+  harness.setProbeResult('refused');
+  const order = getOrder(send(harness, path, body, body));
+  startAnswer(harness, order);
+  const bytes = buildEvents(1, events);
+  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes });
+  const effects = failConnection(harness, order);
+  harness.setProbeResult('reachable');
+  harness.wait(CORRELATED_CRASH_MS);
+  return effects;
+};
+
+// Guards against a request that crashes each engine right after its first event (BUDGET, review/6).
+test('a request on which two engines crashed after its first event is refused', (t) => {
+  const harness = createRequestsHarness();
+  for (let call = 0; call < 2; call += 1) sendBreaking(harness, '/memo/1', 'poison', 1);
+  t.deepEqual(findAttemptOrders(send(harness, '/memo/1', 'poison', 'poison')), []);
+  t.is(findAttemptOrders(send(harness, '/memo/1', 'sound', 'sound')).length, 1);
+});
+
+// Guards against the refusal of sound requests that ran at engines which crashed.
+test('a request that engines had answered for longer when they crashed is not refused', (t) => {
+  const harness = createRequestsHarness();
+  for (let call = 0; call < 4; call += 1) sendBreaking(harness, '/memo/1', 'sound', 2);
+  t.is(findAttemptOrders(send(harness, '/memo/1', 'sound', 'sound')).length, 1);
+});
+
+test('a stream that may be sent again goes on after a crash that followed its first event', (t) => {
+  const harness = createRequestsHarness();
+  const [next] = findAttemptOrders(sendBreaking(harness, '/summary/1', 'sound', 1));
+  t.is(next?.head.lastEventId, '1');
+});
+
 // Guards against a plain call that crashes all endpoints of its service as its caller repeats it.
 test('a plain call on which three endpoints crashed is refused', (t) => {
   const harness = createRequestsHarness();
