Carry out the effects that all daemons have in one place

Callers see no difference. The three daemons declared and performed post, post-after-reads, schedule and log each for itself (duplicates); core/loop/effects does now.

--- a/packages/endpoint/perform.ts
+++ b/packages/endpoint/perform.ts
@@ -4,7 +4,7 @@
 import type { EndpointEffect, EndpointEvent } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
-import { runAfterReads } from '../core/loop/runAfterReads.js';
+import { performLoopEffect } from '../core/loop/effects.js';
 import type { Loop } from '../core/loop/types.js';
 
 /** Adapters that carry out the effects of an endpoint daemon. */
@@ -25,21 +25,13 @@
  * @param adapters - adapters of the daemon
  */
 export const performEffect = (effect: EndpointEffect, adapters: EndpointAdapters): void => {
-  const { loop, events, engine, rpc, entries } = adapters;
+  const { engine, rpc, entries } = adapters;
   switch (effect.kind) {
     case 'post':
-      loop().post(effect.event);
-      return;
     case 'post-after-reads':
-      runAfterReads(() => {
-        loop().post(effect.event);
-      });
-      return;
     case 'schedule':
-      loop().schedule(effect.delayMs, effect.event);
-      return;
     case 'log':
-      events.record(effect.name, effect.details);
+      performLoopEffect(effect, adapters);
       return;
     case 'fetch-list':
       adapters.fetchList();
--- a/packages/endpoint/types.ts
+++ b/packages/endpoint/types.ts
@@ -1,6 +1,4 @@
 import type { Millis } from '../core/clock.js';
-import type { EventDetails } from '../core/events/types.js';
-import type { EventName } from '../core/events/catalogue.js';
 import type {
   ClassName,
   CustomerId,
@@ -9,6 +7,7 @@
   Offset,
   RequestId,
 } from '../core/ids.js';
+import type { LoopEffect } from '../core/loop/effects.js';
 import type { Failure } from '../core/verdict.js';
 
 /** Identifies one open call of an entry daemon within this process. */
@@ -302,11 +301,7 @@
 }
 
 export type EndpointEffect =
-  | { readonly kind: 'post'; readonly event: EndpointEvent }
-  /** Posts an event once all sockets that have data now have been read. */
-  | { readonly kind: 'post-after-reads'; readonly event: EndpointEvent }
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EndpointEvent }
-  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | LoopEffect<EndpointEvent>
   | { readonly kind: 'fetch-list' }
   | { readonly kind: 'fetch-health' }
   | { readonly kind: 'fetch-load' }
--- a/packages/entry/events.ts
+++ b/packages/entry/events.ts
@@ -13,8 +13,8 @@
 } from './types.js';
 import type { Millis } from '../core/clock.js';
 import type { EventName } from '../core/events/catalogue.js';
-import type { EventDetails } from '../core/events/types.js';
 import type { EndpointId, GenerationId, Incarnation, Offset, RequestId } from '../core/ids.js';
+import type { LoopEffect } from '../core/loop/effects.js';
 import type { Failure } from '../core/verdict.js';
 import type { ProposedChange } from '../decisions/configuration/proposals.js';
 import type { FoldResult, Winner } from '../decisions/configuration/types.js';
@@ -227,11 +227,7 @@
   | FrontendEvent;
 
 export type EntryEffect =
-  | { readonly kind: 'post'; readonly event: EntryEvent }
-  /** Posts an event once all sockets that have data now have been read. */
-  | { readonly kind: 'post-after-reads'; readonly event: EntryEvent }
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: EntryEvent }
-  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | LoopEffect<EntryEvent>
   | {
       readonly kind: 'record-latency';
       readonly name: string;
--- a/packages/entry/perform.ts
+++ b/packages/entry/perform.ts
@@ -6,7 +6,7 @@
 import type { EndpointClient } from './requests/endpointMessages.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
-import { runAfterReads } from '../core/loop/runAfterReads.js';
+import { performLoopEffect } from '../core/loop/effects.js';
 import type { Loop } from '../core/loop/types.js';
 import type { Metrics } from '../core/metrics/metrics.js';
 import { createFailure } from '../core/verdict.js';
@@ -92,21 +92,13 @@
 };
 
 const performUnguarded = (effect: EntryEffect, adapters: EntryAdapters): void => {
-  const { loop, events, metrics, responders, tickets, endpoints, platform } = adapters;
+  const { metrics, responders, tickets, endpoints, platform } = adapters;
   switch (effect.kind) {
     case 'post':
-      loop().post(effect.event);
-      return;
     case 'post-after-reads':
-      runAfterReads(() => {
-        loop().post(effect.event);
-      });
-      return;
     case 'schedule':
-      loop().schedule(effect.delayMs, effect.event);
-      return;
     case 'log':
-      events.record(effect.name, effect.details);
+      performLoopEffect(effect, adapters);
       return;
     case 'record-latency':
       metrics.recordLatency(effect.name, effect.className, effect.duration);
--- a/packages/gateway/events.ts
+++ b/packages/gateway/events.ts
@@ -25,9 +25,8 @@
 } from './usage/types.js';
 import type { QuarantineLoad, QuarantineRecord } from './quarantine/types.js';
 import type { Millis } from '../core/clock.js';
-import type { EventName } from '../core/events/catalogue.js';
-import type { EventDetails } from '../core/events/types.js';
 import type { CustomerId, DataCentreId, EndpointId, VersionName } from '../core/ids.js';
+import type { LoopEffect } from '../core/loop/effects.js';
 import type { Failure } from '../core/verdict.js';
 import type { AttemptObservation } from '../decisions/forwarding/endpointHealth.js';
 import type { EndpointStatement } from '../decisions/forwarding/statements.js';
@@ -324,11 +323,7 @@
 }
 
 export type GatewayEffect =
-  | { readonly kind: 'post'; readonly event: GatewayEvent }
-  /** Posts an event once all sockets that have data now have been read. */
-  | { readonly kind: 'post-after-reads'; readonly event: GatewayEvent }
-  | { readonly kind: 'schedule'; readonly delayMs: Millis; readonly event: GatewayEvent }
-  | { readonly kind: 'log'; readonly name: EventName; readonly details: EventDetails }
+  | LoopEffect<GatewayEvent>
   | {
       readonly kind: 'count';
       readonly name: string;
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -20,7 +20,7 @@
 } from './types.js';
 import { assertNever } from '../core/assertNever.js';
 import type { EventLog } from '../core/events/eventLog.js';
-import { runAfterReads } from '../core/loop/runAfterReads.js';
+import { performLoopEffect } from '../core/loop/effects.js';
 import type { Loop } from '../core/loop/types.js';
 import type { DeferredMetrics } from '../core/metrics/deferredMetrics.js';
 import { createFailure } from '../core/verdict.js';
@@ -288,22 +288,13 @@
 };
 
 const performUnguarded = (effect: GatewayEffect, adapters: GatewayAdapters): void => {
-  const { callers, connections, endpoints, events, feeds, loop, metrics, peers, responders } =
-    adapters;
+  const { callers, connections, endpoints, feeds, metrics, peers, responders } = adapters;
   switch (effect.kind) {
     case 'post':
-      loop().post(effect.event);
-      return;
     case 'post-after-reads':
-      runAfterReads(() => {
-        loop().post(effect.event);
-      });
-      return;
     case 'schedule':
-      loop().schedule(effect.delayMs, effect.event);
-      return;
     case 'log':
-      events.record(effect.name, effect.details);
+      performLoopEffect(effect, adapters);
       return;
     case 'count':
       metrics.addCount(effect.name, effect.labels);
