--- a/packages/gateway/configuration/configuration.ts
+++ b/packages/gateway/configuration/configuration.ts
@@ -3,7 +3,8 @@
 import { buildRoutingTable } from '../../decisions/forwarding/routing.js';
 import type { RoutingTable } from '../../decisions/forwarding/routing.js';
 import type { ForwardingConfiguration } from '../../decisions/forwarding/types.js';
-import type { ConfigurationEvent, GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { ConfigurationEvent } from '../events.js';
 
 /** Routing table of the newest configuration; null until the first configuration is loaded. */
 export interface ConfigurationState {
--- a/packages/gateway/endpoints/endpointClient.fixture.ts
+++ b/packages/gateway/endpoints/endpointClient.fixture.ts
@@ -2,7 +2,8 @@
 import type { EndpointClient } from './endpointClient.js';
 import { sumLengths } from '../../core/bytes/sumLengths.js';
 import { createSystemClock } from '../../core/clock.js';
-import type { AttemptEvent, AttemptOrder, RequestsEvent } from '../events.js';
+import type { AttemptOrder } from '../effects.js';
+import type { AttemptEvent, RequestsEvent } from '../events.js';
 import type { AnswerHead, HeadCodec } from '../types.js';
 
 const HEAD: Omit<AnswerHead, 'status'> = {
--- a/packages/gateway/endpoints/endpointClient.ts
+++ b/packages/gateway/endpoints/endpointClient.ts
@@ -11,13 +11,8 @@
 import { runAfterReads } from '../../core/loop/runAfterReads.js';
 import { CONNECT_TIMEOUT_MS } from '../../decisions/forwarding/constants.js';
 import type { EndpointAddress } from '../../decisions/forwarding/types.js';
-import type {
-  AttemptFailure,
-  AttemptOrder,
-  ProbeResult,
-  RequestsEvent,
-  AttemptEvent,
-} from '../events.js';
+import type { AttemptOrder } from '../effects.js';
+import type { AttemptFailure, ProbeResult, RequestsEvent, AttemptEvent } from '../events.js';
 import { hasValidNames } from '../headSyntax.js';
 import type { HeadCodec } from '../types.js';
 
--- a/packages/gateway/feeds/changes.ts
+++ b/packages/gateway/feeds/changes.ts
@@ -1,5 +1,5 @@
 import { assertNever } from '../../core/assertNever.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { FeedName, RecordChange, RemovalCertainty, StoreEpoch } from '../types.js';
 
 /**
--- a/packages/gateway/feeds/describeReads.ts
+++ b/packages/gateway/feeds/describeReads.ts
@@ -1,7 +1,7 @@
 import { formatEpoch } from './epochs.js';
 import type { FeedState } from './feedState.js';
 import type { Millis } from '../../core/clock.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { FeedName, FeedPosition, FeedResult, StoreEpoch } from '../types.js';
 
 /**
--- a/packages/gateway/feeds/feeds.test.ts
+++ b/packages/gateway/feeds/feeds.test.ts
@@ -6,7 +6,7 @@
 import type { PacingInputs } from './pacing.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { buildEndpoint, CONFIGURATION } from '../../decisions/forwarding/forwarding.fixture.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { FeedName, FeedPosition, FeedResult, RecordChange } from '../types.js';
 
 const buildPacingInputs = (daemons: number): PacingInputs => ({
--- a/packages/gateway/feeds/feeds.ts
+++ b/packages/gateway/feeds/feeds.ts
@@ -20,7 +20,8 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
-import type { FeedsEvent, GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { FeedsEvent } from '../events.js';
 import type {
   FeedName,
   FeedPosition,
--- a/packages/gateway/frontend/callerServer.fixture.ts
+++ b/packages/gateway/frontend/callerServer.fixture.ts
@@ -15,7 +15,7 @@
 import type { EventDetails } from '../../core/events/types.js';
 import { createMemoryAccount } from '../../core/memory/memoryAccount.js';
 import type { ForwardRequest } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import { performEffect } from '../perform.js';
 import type { GatewayAdapters } from '../perform.js';
 import type { AnswerHead, CallerHead } from '../types.js';
--- a/packages/gateway/frontend/connections.test.ts
+++ b/packages/gateway/frontend/connections.test.ts
@@ -2,7 +2,7 @@
 import { ANSWER_HEAD, formatRequest, startCallerServer } from './callerServer.fixture.js';
 import type { CallerHarness } from './callerServer.fixture.js';
 import { MAX_CALLER_BACKLOG_BYTES, MAX_LISTED_REQUESTS } from './constants.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
 
--- a/packages/gateway/frontend/gate.test.ts
+++ b/packages/gateway/frontend/gate.test.ts
@@ -10,7 +10,8 @@
 import { computeDrain, createGateLogic } from './gate.js';
 import type { GateState } from './gate.js';
 import { createVirtualClock } from '../../core/clock.js';
-import type { FrontendEvent, GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { FrontendEvent } from '../events.js';
 
 /** A check after all that had arrived has been read. */
 const CHECKED: FrontendEvent = { to: 'frontend', kind: 'drain-checked', reads: 'done' };
--- a/packages/gateway/frontend/gate.ts
+++ b/packages/gateway/frontend/gate.ts
@@ -13,7 +13,8 @@
 import { toStep } from '../../core/step.js';
 import type { Step } from '../../core/step.js';
 import type { ChildLogic } from '../../core/supervision/types.js';
-import type { FrontendEvent, GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { FrontendEvent } from '../events.js';
 import type { DrainTimes } from '../requests/types.js';
 
 /** Whether the daemon accepts requests or is draining. */
--- a/packages/gateway/membership/dataCentres.ts
+++ b/packages/gateway/membership/dataCentres.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { DataCentreId } from '../../core/ids.js';
-import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { MembershipEvent } from '../events.js';
 import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 
 /**
--- a/packages/gateway/membership/membership.ts
+++ b/packages/gateway/membership/membership.ts
@@ -22,7 +22,8 @@
   EndpointHealth,
 } from '../../decisions/forwarding/endpointHealth.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect, MembershipEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { MembershipEvent } from '../events.js';
 import { isSameIncarnation, toIncarnation } from '../statements/incarnations.js';
 import type { PhaseReport, RemovalCertainty } from '../types.js';
 
--- a/packages/gateway/membership/versions.ts
+++ b/packages/gateway/membership/versions.ts
@@ -2,7 +2,7 @@
 import type { EndpointId, VersionName } from '../../core/ids.js';
 import type { EndpointRecord, ServiceName } from '../../decisions/forwarding/types.js';
 import type { RegisteredVersion } from '../../decisions/forwarding/versionRoles.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** Versions of the services with their endpoints. */
 export interface VersionIndex {
--- a/packages/gateway/moves/moves.ts
+++ b/packages/gateway/moves/moves.ts
@@ -14,7 +14,8 @@
 import type { ChildLogic } from '../../core/supervision/types.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
 import { isExcluded } from '../../decisions/forwarding/versionRoles.js';
-import type { GatewayEffect, MovesEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { MovesEvent } from '../events.js';
 import { MISSING_ORDER_HOLD_MS } from '../feeds/constants.js';
 import type { MoveOrder } from '../types.js';
 
--- a/packages/gateway/moves/serviceVersions.ts
+++ b/packages/gateway/moves/serviceVersions.ts
@@ -14,7 +14,7 @@
   RegisteredVersion,
   VersionRoles,
 } from '../../decisions/forwarding/versionRoles.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** What is known of the versions of a service, and from which orders. */
 export interface ServiceVersions {
--- a/packages/gateway/peers/fleet.fixture.ts
+++ b/packages/gateway/peers/fleet.fixture.ts
@@ -4,7 +4,8 @@
 import type { LoadRow, PeerMessage } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
-import type { GatewayEffect, PeersEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { PeersEvent } from '../events.js';
 
 /** Size of a simulated fleet and the share of datagrams that its network loses. */
 export interface FleetOptions {
--- a/packages/gateway/peers/peers.test.ts
+++ b/packages/gateway/peers/peers.test.ts
@@ -19,7 +19,8 @@
 import type { GroupSummary, PeerReport } from './types.js';
 import { createVirtualClock } from '../../core/clock.js';
 import { createRandomSource } from '../../core/random.js';
-import type { GatewayEffect, PeersEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { PeersEvent } from '../events.js';
 
 const MESSAGE: PeerReport = {
   kind: 'report',
--- a/packages/gateway/peers/peers.ts
+++ b/packages/gateway/peers/peers.ts
@@ -30,7 +30,8 @@
 import type { FleetMember } from '../../decisions/membership/reportGroups.js';
 import { splitFleet } from '../../decisions/membership/reportGroups.js';
 import type { StringHash } from '../../decisions/membership/rendezvous.js';
-import type { GatewayEffect, PeersEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { PeersEvent } from '../events.js';
 
 export interface PeersInputs {
   readonly clock: Clock;
--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import type { GatewayEffect, GatewayEvent } from './events.js';
+import type { GatewayEffect } from './effects.js';
+import type { GatewayEvent } from './events.js';
 import { performEffect } from './perform.js';
 import type { GatewayAdapters } from './perform.js';
 import { buildOrder } from './endpoints/endpointClient.fixture.js';
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -1,5 +1,6 @@
 import type { EndpointClient } from './endpoints/endpointClient.js';
-import type { GatewayEffect, GatewayEvent, ProbeResult } from './events.js';
+import type { GatewayEffect } from './effects.js';
+import type { GatewayEvent, ProbeResult } from './events.js';
 import type { CallerServer } from './frontend/callerServer.js';
 import type { ConnectionTracker } from './frontend/connections.js';
 import type { Responders } from './frontend/responders.js';
--- a/packages/gateway/quarantine/quarantine.test.ts
+++ b/packages/gateway/quarantine/quarantine.test.ts
@@ -8,7 +8,8 @@
 import { CORRELATED_CRASH_MS, CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
 import type { ContentFingerprints } from '../../decisions/quarantine/types.js';
-import type { GatewayEffect, QuarantineEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { QuarantineEvent } from '../events.js';
 import { buildCrashMessage, readCrashMessage } from '../peers/crashReports.js';
 
 const CONTENT = { whole: null, parts: ['m/deadly'] };
--- a/packages/gateway/quarantine/quarantine.ts
+++ b/packages/gateway/quarantine/quarantine.ts
@@ -22,7 +22,8 @@
 import type { CrashReport } from '../../decisions/quarantine/types.js';
 import type { Fingerprint } from '../../decisions/quarantine/types.js';
 import { CRASH_RETENTION_MS } from '../../decisions/quarantine/constants.js';
-import type { GatewayEffect, QuarantineEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { QuarantineEvent } from '../events.js';
 import { readCrashMessage, toCrashRow } from '../peers/crashReports.js';
 import type { StoreEpoch } from '../types.js';
 
--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -27,7 +27,7 @@
   splitEvents,
 } from '../../decisions/forwarding/eventSplitter.js';
 import type { StreamEvent } from '../../decisions/forwarding/eventSplitter.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { AnswerHead } from '../types.js';
 
 const STATUS_OK = 200;
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -24,7 +24,7 @@
 import { isResumableAt } from '../../decisions/forwarding/resumption.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { CopyReference } from '../types.js';
 
 /**
--- a/packages/gateway/requests/configurationVersion.test.ts
+++ b/packages/gateway/requests/configurationVersion.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { createRequestsHarness, findAttemptOrders, SIGNED_HEAD } from './requests.fixture.js';
 import type { EventName } from '../../core/events/catalogue.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 const findLoggedVersion = (effects: readonly GatewayEffect[], name: EventName): unknown =>
   effects.flatMap((effect) =>
--- a/packages/gateway/requests/outcomes.ts
+++ b/packages/gateway/requests/outcomes.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '../../core/clock.js';
 import { createFailure } from '../../core/verdict.js';
 import type { Failure } from '../../core/verdict.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 const TENTHS_PER_MS = 10;
 
--- a/packages/gateway/requests/peerReports.ts
+++ b/packages/gateway/requests/peerReports.ts
@@ -1,4 +1,4 @@
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** Sends a report to the other daemons at once, which depend on what has changed. */
 export const REPORT_TO_PEERS: GatewayEffect = {
--- a/packages/gateway/requests/placeRequest.ts
+++ b/packages/gateway/requests/placeRequest.ts
@@ -17,7 +17,7 @@
 import { findEarliestReturn } from '../../decisions/forwarding/restingService.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** A wait until the deadline would end with a timeout, which does not tell that the request has not run. */
 const getLastPlacementAt = ({ deadlineAt }: Forwarding): Millis => deadlineAt - PLACEMENT_RETRY_MS;
--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -10,7 +10,7 @@
 } from './requests.fixture.js';
 import { CORRELATED_CRASH_MS } from '../../decisions/quarantine/constants.js';
 import type { RequestsHarness } from './requests.fixture.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
 
 const send = (harness: RequestsHarness, path: string, body: string, document = 'deadly') =>
   harness.sendRequest(path, {
--- a/packages/gateway/requests/requestLimits.test.ts
+++ b/packages/gateway/requests/requestLimits.test.ts
@@ -9,7 +9,7 @@
 } from '../../decisions/forwarding/forwarding.fixture.js';
 import { chooseByRendezvous } from '../../decisions/membership/rendezvous.js';
 import { MIN_LIMIT_WINDOW_MS } from '../../decisions/forwarding/constants.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 const ENDPOINTS = ['l-4', 'l-5', 'l-6'];
 
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -21,7 +21,8 @@
   ForwardRequest,
 } from '../../decisions/forwarding/types.js';
 import { checkContent } from '../../decisions/quarantine/crashEvidence.js';
-import type { AttemptOrder, GatewayEffect, ProbeResult, RequestsEvent } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
+import type { ProbeResult, RequestsEvent } from '../events.js';
 import { createQuarantineLogic } from '../quarantine/quarantine.js';
 import type { QuarantineState } from '../quarantine/quarantine.js';
 import { createQuarantineWrites } from '../quarantine/writes.js';
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -15,7 +15,8 @@
   MEMO_ROUTE,
 } from '../../decisions/forwarding/forwarding.fixture.js';
 import { addCrash } from '../../decisions/quarantine/crashEvidence.js';
-import type { AttemptFailure, AttemptOrder } from '../events.js';
+import type { AttemptOrder } from '../effects.js';
+import type { AttemptFailure } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
 const reportSent = (harness: RequestsHarness, order: AttemptOrder): void => {
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -36,7 +36,8 @@
 import { admitFirstSend } from '../../decisions/forwarding/sendPermits.js';
 import { chooseService, findRoute } from '../../decisions/forwarding/routing.js';
 import type { ForwardRequest, Route, Service } from '../../decisions/forwarding/types.js';
-import type { BodyState, GatewayEffect, RequestsEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { BodyState, RequestsEvent } from '../events.js';
 
 const refuseArrival = (
   request: ForwardRequest,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -7,7 +7,7 @@
 import { continueAfterStops, stopRun } from './runStops.js';
 import { decideFurtherSend } from './sendDecisions.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /**
  * Ends an attempt without a usable answer, and starts another attempt or fails the request.
--- a/packages/gateway/requests/runChecks.test.ts
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -9,7 +9,7 @@
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { RunState } from '../types.js';
 
 /** Time after a disruption from which two engines may not work on one generation. */
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -10,7 +10,7 @@
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import { toIncarnation } from '../statements/incarnations.js';
 import type { RunState } from '../types.js';
 
--- a/packages/gateway/requests/runCounting.ts
+++ b/packages/gateway/requests/runCounting.ts
@@ -1,5 +1,5 @@
 import type { Forwarding, RequestsContext } from './types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /**
  * Counts a request for the usage reports when an endpoint is known to have begun to run it: a stream with
--- a/packages/gateway/requests/runStops.test.ts
+++ b/packages/gateway/requests/runStops.test.ts
@@ -10,7 +10,8 @@
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
-import type { AttemptOrder, GatewayEffect, ProbeResult } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
+import type { ProbeResult } from '../events.js';
 import type { RunState, TransferResult } from '../types.js';
 
 /** Time after which the order to stop a run is repeated, or the engine asked; longer than both. */
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -12,7 +12,8 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointIncarnation, EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect, RequestsEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { RequestsEvent } from '../events.js';
 import { toIncarnation } from '../statements/incarnations.js';
 import type { RunState, TransferResult } from '../types.js';
 
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -11,7 +11,7 @@
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
 import type { AnswerHead } from '../types.js';
 
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -15,7 +15,7 @@
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** What is done about a stream whose endpoint is silent. */
 type SilenceResponse =
--- a/packages/gateway/requests/silenceOrders.test.ts
+++ b/packages/gateway/requests/silenceOrders.test.ts
@@ -3,7 +3,8 @@
 import { createRequestsHarness, findAttemptOrders, SIGNED_HEAD } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { AttemptOrder, GatewayEffect, RequestsEvent } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
+import type { RequestsEvent } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
 /** Number of events of each stream. */
--- a/packages/gateway/requests/statedLeaving.test.ts
+++ b/packages/gateway/requests/statedLeaving.test.ts
@@ -11,7 +11,7 @@
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
-import type { AttemptOrder } from '../events.js';
+import type { AttemptOrder } from '../effects.js';
 
 const LEDGERS = ['l-4', 'l-5', 'l-6'];
 const ENGINES = ['e-1', 'e-2', 'e-3'];
--- a/packages/gateway/requests/statedRest.test.ts
+++ b/packages/gateway/requests/statedRest.test.ts
@@ -12,7 +12,7 @@
 import { addRest, REST_RETURN_MS } from '../../decisions/forwarding/rest.js';
 import { MEMO_ROUTE, SWEEP_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
-import type { AttemptOrder } from '../events.js';
+import type { AttemptOrder } from '../effects.js';
 
 const LEDGERS = ['l-4', 'l-5', 'l-6'];
 const ENGINES = ['e-1', 'e-2', 'e-3'];
--- a/packages/gateway/requests/transferStarts.ts
+++ b/packages/gateway/requests/transferStarts.ts
@@ -15,7 +15,7 @@
 import type { Millis } from '../../core/clock.js';
 import type { EndpointId } from '../../core/ids.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 import type { TransferOrder } from '../types.js';
 
 /**
--- a/packages/gateway/requests/transferTurns.ts
+++ b/packages/gateway/requests/transferTurns.ts
@@ -5,7 +5,7 @@
 import type { EndpointId } from '../../core/ids.js';
 import { hasWish } from '../../decisions/forwarding/rest.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 /** A running generation: its request, and the attempt at the endpoint that runs it. */
 export interface RunningGeneration {
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -12,7 +12,7 @@
 import type { RequestsHarness } from './requests.fixture.js';
 import { buildEndpoint, DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GenerationDemand } from '../../decisions/forwarding/types.js';
-import type { AttemptOrder, GatewayEffect } from '../events.js';
+import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { AnswerHead, TransferResult } from '../types.js';
 
 /** Time for which two endpoints may work on the same generation. */
--- a/packages/gateway/requests/tricklingStreams.test.ts
+++ b/packages/gateway/requests/tricklingStreams.test.ts
@@ -8,7 +8,7 @@
   SIGNED_HEAD,
   toEvent,
 } from './requests.fixture.js';
-import type { AttemptOrder } from '../events.js';
+import type { AttemptOrder } from '../effects.js';
 
 const TRICKLE_MS = 200;
 const LIMIT_MS = 5_000;
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -1,6 +1,7 @@
 import type { AttemptEnd } from './attemptEnds.js';
 import type { CopyLocation } from './generationCopy.js';
-import type { AttemptFailure, GatewayEffect, ProbeResult } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { AttemptFailure, ProbeResult } from '../events.js';
 import type { AnswerHead, LiveSettings, RunState } from '../types.js';
 import type { ByteBlocks } from '../../core/bytes/byteBlocks.js';
 import type { Clock, Millis } from '../../core/clock.js';
--- a/packages/gateway/requests/waitingRoom.test.ts
+++ b/packages/gateway/requests/waitingRoom.test.ts
@@ -7,7 +7,7 @@
   MEMO_ROUTE,
   SUMMARY_ROUTE,
 } from '../../decisions/forwarding/forwarding.fixture.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 const MEMORY = ENGINE_SERVICE.engine?.memoryTokens ?? 0;
 
--- a/packages/gateway/requests/waitingRoom.ts
+++ b/packages/gateway/requests/waitingRoom.ts
@@ -5,7 +5,7 @@
 import type { WaitingRequest } from '../../decisions/forwarding/crowding.js';
 import { computeUseShare } from '../../decisions/forwarding/recentUse.js';
 import type { ServiceName } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 const describeWaiting = (
   forwarding: Forwarding,
--- a/packages/gateway/statements/statements.test.ts
+++ b/packages/gateway/statements/statements.test.ts
@@ -11,7 +11,8 @@
 import { buildEndpoint } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { EndpointStatement } from '../../decisions/forwarding/statements.js';
 import type { EndpointIncarnation } from '../../decisions/forwarding/types.js';
-import type { AnsweredRequest, GatewayEffect, StatementsEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { AnsweredRequest, StatementsEvent } from '../events.js';
 
 const ENDPOINT = toIncarnation(buildEndpoint('e-1'));
 const NEXT = { ...ENDPOINT, startedAt: 2 };
--- a/packages/gateway/statements/statements.ts
+++ b/packages/gateway/statements/statements.ts
@@ -20,7 +20,8 @@
 import { isResting } from '../../decisions/forwarding/rest.js';
 import type { StatedRest } from '../../decisions/forwarding/rest.js';
 import type { EndpointIncarnation } from '../../decisions/forwarding/types.js';
-import type { GatewayEffect, StatementsEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { StatementsEvent } from '../events.js';
 
 /** What the endpoints say of themselves. Only the `statements` child updates it, in place. */
 export interface StatementsState {
--- a/packages/gateway/supervisor.ts
+++ b/packages/gateway/supervisor.ts
@@ -1,9 +1,9 @@
 import type { ConfigurationState } from './configuration/configuration.js';
+import type { GatewayEffect } from './effects.js';
 import type {
   ConfigurationEvent,
   FeedsEvent,
   FrontendEvent,
-  GatewayEffect,
   GatewayEvent,
   MembershipEvent,
   MovesEvent,
--- a/packages/gateway/usage/answers.ts
+++ b/packages/gateway/usage/answers.ts
@@ -7,7 +7,7 @@
 import { observeLease } from '../../decisions/leases/lease.js';
 import type { OwnLease } from '../../decisions/leases/lease.js';
 import type { FixedWindow, WindowNumber } from '../../decisions/usage/types.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 type UsageStep = Step<UsageState, GatewayEffect>;
 
--- a/packages/gateway/usage/holding.ts
+++ b/packages/gateway/usage/holding.ts
@@ -12,7 +12,7 @@
 import { KEPT_WINDOWS, REMEMBERED_WINDOWS } from '../../decisions/usage/constants.js';
 import type { FixedWindow, WindowNumber } from '../../decisions/usage/types.js';
 import { isWindowSettled, sumWindow } from '../../decisions/usage/usageTable.js';
-import type { GatewayEffect } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
 
 type UsageStep = Step<UsageState, GatewayEffect>;
 
--- a/packages/gateway/usage/perform.ts
+++ b/packages/gateway/usage/perform.ts
@@ -6,7 +6,8 @@
   UsageService,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
-import type { GatewayEffect, UsageEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { UsageEvent } from '../events.js';
 import type { PeerSocket } from '../peers/peerSocket.js';
 
 /** Adapters that perform the effects of the `usage` child. */
--- a/packages/gateway/usage/usage.ts
+++ b/packages/gateway/usage/usage.ts
@@ -21,7 +21,8 @@
   pruneUsage,
   receiveUsage,
 } from '../../decisions/usage/usageTable.js';
-import type { GatewayEffect, UsageEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { UsageEvent } from '../events.js';
 
 type UsageStep = Step<UsageState, GatewayEffect>;
 
--- a/packages/gateway/usage/usageFleet.fixture.ts
+++ b/packages/gateway/usage/usageFleet.fixture.ts
@@ -5,7 +5,8 @@
 import type { Millis } from '../../core/clock.js';
 import type { FixedWindow, WindowNumber } from '../../decisions/usage/types.js';
 import { createUsageTable } from '../../decisions/usage/usageTable.js';
-import type { GatewayEffect, UsageEvent } from '../events.js';
+import type { GatewayEffect } from '../effects.js';
+import type { UsageEvent } from '../events.js';
 
 export const SETTINGS: UsageSettings = { leaseMs: 3_000, windowMs: 5_000, dueMs: 10_000 };
 
