Pass on answers without a length whose endpoint has not answered the probe in time

Callers saw: a gateway that was late at the end of its drain had read an answer without a length whole, and cut it: its endpoint was still being probed when the drain ended.

Cause: the proof of such an end takes a connection, and a deadline and the end of a drain leave no time for it.

Change: both take an answer that has ended for whole, as before.

--- a/packages/gateway/requests/endProof.test.ts
+++ b/packages/gateway/requests/endProof.test.ts
@@ -65,3 +65,21 @@
   t.truthy(findEffect(probed, 'end-answer'));
   t.deepEqual(findAttemptOrders(probed), []);
 });
+
+// Guards against answers that have arrived whole and are not passed on, since the time for them is over (LOST).
+test('an answer that is not proved yet is complete at the deadline and at the end of a drain', (t) => {
+  const ends = [
+    (harness: RequestsHarness, key: number) =>
+      harness.post({ to: 'requests', kind: 'deadline-reached', key }),
+    (harness: RequestsHarness) => harness.post({ to: 'requests', kind: 'drain-ended' }),
+  ];
+  for (const end of ends) {
+    const harness = createRequestsHarness();
+    harness.setProbeResult('pending');
+    const stream = endAnswer(harness, '/summary/1', buildEvents(1, 3));
+    t.truthy(findEffect(end(harness, stream.order.key), 'end-answer'));
+    const plain = endAnswer(harness, '/lookup/1', Buffer.from('the whole'));
+    t.truthy(findEffect(end(harness, plain.order.key), 'send-whole'));
+    t.is(harness.countOpen(), 0);
+  }
+});
--- a/packages/gateway/requests/endProof.ts
+++ b/packages/gateway/requests/endProof.ts
@@ -30,6 +30,16 @@
   return failAttempt(forwarding, attempt, { kind: 'broken', message }, context);
 };
 
+/**
+ * Takes the end of an answer for that of the whole one.
+ *
+ * @param attempt - attempt whose answer ended
+ */
+export const settleEnd = (attempt: Attempt): void => {
+  attempt.endProof = 'given';
+  attempt.failure = null;
+};
+
 /**
  * Takes the result of a probe into account: an endpoint that still takes connections, or that was about to
  * leave, has ended its answer itself.
@@ -46,7 +56,15 @@
 ): 'proved' | 'not-proved' => {
   if (attempt.endProof !== 'asked') return 'not-proved';
   if (result === 'refused' && isExpectedToRun(attempt, context)) return 'not-proved';
-  attempt.endProof = 'given';
-  attempt.failure = null;
+  settleEnd(attempt);
   return 'proved';
 };
+
+/**
+ * Finds the attempt of a request whose answer has ended and whose endpoint has not answered the probe.
+ *
+ * @param forwarding - request
+ * @returns the attempt, or null
+ */
+export const findUnproven = ({ attempts }: Forwarding): Attempt | null =>
+  [...attempts.values()].find(({ endProof }) => endProof === 'asked') ?? null;
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -13,7 +13,7 @@
 import { drainEndpoint, startNextTransfer } from './transferStarts.js';
 import { checkStreamEnd, handleTransferResult } from './transfers.js';
 import { cancelQuarantined, endProbedAttempt, failAttempt } from './crashes.js';
-import { recordProof } from './endProof.js';
+import { settleEnd, findUnproven, recordProof } from './endProof.js';
 import { endForDrain, expireRequest, sendHedge } from './retrying.js';
 import { checkRun, handleRunState } from './runChecks.js';
 import { sendAttempt } from './sendAttempt.js';
@@ -269,13 +269,27 @@
   }
 };
 
+/** Finishes an answer that has ended when there is no time left for the proof; null without one. */
+const finishUnproven = (forwarding: Forwarding, context: RequestsContext): Effects | null => {
+  const attempt = findUnproven(forwarding);
+  if (attempt === null) return null;
+  settleEnd(attempt);
+  return finishAnswer(forwarding, attempt, context);
+};
+
+const endAllForDrain = (context: RequestsContext): Effects => {
+  const forwardings = [...context.state.inFlight.values()];
+  const finished = forwardings.flatMap((forwarding) => finishUnproven(forwarding, context) ?? []);
+  return [...finished, ...endForDrain(context)];
+};
+
 const decideEvent = (event: RequestsEvent, context: RequestsContext): Effects => {
   if (event.kind === 'request-arrived') return admitRequest(event.request, event.body, context);
   if (event.kind === 'room-due') return placeWaiting(event.service, context);
   if (event.kind === 'transfer-due') return startNextTransfer(event.source, context);
   if (event.kind === 'endpoint-leaving') return drainEndpoint(event.endpoint, context);
   if (event.kind === 'content-quarantined') return cancelQuarantined(context);
-  if (event.kind === 'drain-ended') return endForDrain(context);
+  if (event.kind === 'drain-ended') return endAllForDrain(context);
   if (event.kind === 'transfer-ended') return handleTransferResult(event, context);
   if (event.kind === 'run-stop-answered') return handleStopAnswer(event, context);
   if (event.kind === 'run-stop-due') return checkStop(event, context);
@@ -285,7 +299,7 @@
     case 'caller-disconnected':
       return cancelRequest(forwarding, context);
     case 'deadline-reached':
-      return expireRequest(forwarding, context);
+      return finishUnproven(forwarding, context) ?? expireRequest(forwarding, context);
     case 'placement-due':
       return forwarding.waitingPermit === null
         ? []
