Count the input of the connections between daemons

A crowd whose messages never end could also hold all connections, and calls of others were not accepted.

Cause: a connection reads 64 KB at a time and hands it on in its turns; no account had these bytes, so the listener took 200 connections with room for 64. And a connection counted as busy from the head of its call on.

Change: each connection reserves the input that it may read beside its session, in an account of its own (rpc-input). A connection is busy once a call has its message; until then it may have to make room, the one without a sign of life for the longest time first, and its calls are refused as not run (REFUSED_STREAM). wire/peerConnections owns both.

Evidence: the new test of rpcListener got no answer before (the call was dropped); the property over openings, parts, resets and closes ends with all three accounts at zero.

--- a/packages/cluster/refusedCalls.test.ts
+++ b/packages/cluster/refusedCalls.test.ts
@@ -5,7 +5,7 @@
 import { createRpcServer } from '../endpoint/rpc/rpcServer.js';
 import { createEndpointClient } from '../entry/requests/endpointClient.js';
 import type { EndpointCompletion } from '../entry/requests/endpointMessages.js';
-import { CONNECTION_OVERHEAD_BYTES } from '../wire/constants.js';
+import { CONNECTION_OVERHEAD_BYTES, MAX_INPUT_BYTES } from '../wire/constants.js';
 
 const REQUEST = {
   incarnation: createId(),
@@ -24,6 +24,7 @@
   const memory = {
     calls: createMemoryAccount(0),
     connections: createMemoryAccount(2 * CONNECTION_OVERHEAD_BYTES),
+    input: createMemoryAccount(2 * MAX_INPUT_BYTES),
   };
   const post = (): 'queued' => {
     received += 1;
--- a/packages/core/http/connectionLimit.ts
+++ b/packages/core/http/connectionLimit.ts
@@ -5,6 +5,8 @@
 export interface ConnectionLimit<Connection> {
   /** Adds a connection, which has no work yet. */
   readonly add: (connection: Connection) => void;
+  /** Records a sign of life of a connection without work: others make room before it. */
+  readonly touch: (connection: Connection) => void;
   /** Records that work began on a connection, which is not closed until all of it has ended. */
   readonly begin: (connection: Connection) => void;
   /** Records that work ended; once for each `begin`. */
@@ -15,11 +17,14 @@
   readonly maxConnections: number;
 }
 
-export interface ConnectionLimitOptions<Connection> {
-  /** Memory for all connections of the listener. */
+/** Memory that each connection takes of an account. */
+export interface ConnectionCost {
   readonly account: MemoryAccount;
-  /** Memory of one connection that has no work. */
-  readonly connectionBytes: number;
+  readonly bytes: number;
+}
+
+export interface ConnectionLimitOptions<Connection> {
+  readonly costs: readonly ConnectionCost[];
   /** Closes a connection that has no work. */
   readonly close: (connection: Connection) => void;
 }
@@ -30,19 +35,32 @@
  */
 const FREE_SHARE = 1 / 8;
 
+const releaseCosts = (costs: readonly ConnectionCost[]): void => {
+  for (const { account, bytes } of costs) account.release(bytes);
+};
+
+/** Reserves the memory of one connection in all accounts, or in none. */
+const takeCosts = (costs: readonly ConnectionCost[]): 'reserved' | 'full' => {
+  const full = costs.findIndex(({ account, bytes }) => account.reserve(bytes) === 'full');
+  if (full === -1) return 'reserved';
+  releaseCosts(costs.slice(0, full));
+  return 'full';
+};
+
 /**
  * Creates the limit. Above it, the connection that has had no work for the longest time is closed, so
  * that connections without work cannot keep others out.
  *
- * @param options - memory of the connections, and the function that closes one
+ * @param options - memory of a connection, and the function that closes one
  * @returns the limit without connections
  */
 export const createConnectionLimit = <Connection extends object>({
-  account,
   close,
-  connectionBytes,
+  costs,
 }: ConnectionLimitOptions<Connection>): ConnectionLimit<Connection> => {
-  const maxConnections = computeCapacity(account, connectionBytes);
+  const maxConnections = Math.min(
+    ...costs.map(({ account, bytes }) => computeCapacity(account, bytes)),
+  );
   const busy = new Map<Connection, number>();
   /** Connections without work, the one that has had none for the longest time first. */
   const idle = new Set<Connection>();
@@ -60,13 +78,16 @@
 
   return {
     add: (connection) => {
-      if (account.reserve(connectionBytes) === 'full') {
+      if (takeCosts(costs) === 'full') {
         close(connection);
         return;
       }
       idle.add(connection);
       if (busy.size + idle.size > maxKept) closeLongestIdle();
     },
+    touch: (connection) => {
+      if (idle.delete(connection)) idle.add(connection);
+    },
     begin: (connection) => {
       const known = busy.get(connection);
       // A connection that was removed is closed, and so is all work on it.
@@ -85,7 +106,7 @@
     },
     remove: (connection) => {
       const isKnown = busy.delete(connection) || idle.delete(connection);
-      if (isKnown || closing.delete(connection)) account.release(connectionBytes);
+      if (isKnown || closing.delete(connection)) releaseCosts(costs);
     },
     count: () => busy.size + idle.size,
     maxConnections,
--- a/packages/endpoint/memory.ts
+++ b/packages/endpoint/memory.ts
@@ -6,6 +6,8 @@
 export type EndpointHolder =
   /** Connections of entry daemons without calls. */
   | 'rpc-connections'
+  /** Bytes on these connections that are no call yet. */
+  | 'rpc-input'
   /** Calls of entry daemons that have not ended, with their messages. */
   | 'rpc-calls'
   /** Fixed cost of the connections to the inspection pages. */
@@ -31,7 +33,8 @@
   // The buffers of streams and answers count their bytes themselves.
   createDaemonMemory(memoryBytes - buffer.maxTotalBytes - answers.maxBytes, {
     own: {
-      'rpc-connections': 15,
+      'rpc-connections': 5,
+      'rpc-input': 10,
       'rpc-calls': 70,
       'page-connections': 5,
       'page-unparsed': 5,
--- a/packages/endpoint/wiring.ts
+++ b/packages/endpoint/wiring.ts
@@ -103,6 +103,7 @@
   createRpcServer(cradle.incarnation, cradle.clock.now, (event) => cradle.daemon.loop.post(event), {
     calls: cradle.memory.accounts['rpc-calls'],
     connections: cradle.memory.accounts['rpc-connections'],
+    input: cradle.memory.accounts['rpc-input'],
   });
 
 const buildEntryClient = (cradle: EndpointCradle): EntryClient => {
--- a/packages/entry/memory.ts
+++ b/packages/entry/memory.ts
@@ -14,6 +14,8 @@
   | 'request-bodies'
   /** Connections of endpoint daemons without heartbeats in progress. */
   | 'rpc-connections'
+  /** Bytes on these connections that are no heartbeat yet. */
+  | 'rpc-input'
   /** Heartbeats that have not been answered, with their messages. */
   | 'rpc-calls';
 
@@ -32,7 +34,8 @@
       unparsed: 12,
       requests: 20,
       'request-bodies': 30,
-      'rpc-connections': 10,
+      'rpc-connections': 4,
+      'rpc-input': 6,
       'rpc-calls': 20,
     },
     limits: { 'request-bodies': limits.maxTotalBodyBytes },
--- a/packages/entry/wiring.ts
+++ b/packages/entry/wiring.ts
@@ -110,6 +110,7 @@
     {
       calls: cradle.memory.accounts['rpc-calls'],
       connections: cradle.memory.accounts['rpc-connections'],
+      input: cradle.memory.accounts['rpc-input'],
     },
   );
 
--- a/packages/wire/constants.ts
+++ b/packages/wire/constants.ts
@@ -32,8 +32,8 @@
 export const CALL_OVERHEAD_BYTES = 16 * 1024;
 
 /**
- * Memory of a message in multiples of its size: it is received in parts, joined, and decoded to values
- * of which strings are copies.
+ * Memory of a message in multiples of its size: it is received in blocks of up to twice its size, joined,
+ * and decoded to values of which strings are copies.
  */
 export const MESSAGE_COPIES = 3;
 
@@ -58,15 +58,21 @@
 /** Memory in MB that Node.js allows the session of one connection beyond its calls. */
 export const MAX_SESSION_MEGABYTES = 10;
 
-/** Memory of one connection without calls: its socket and its HTTP/2 session. */
+/** Memory of one connection without calls and input: its socket and its HTTP/2 session. */
 export const CONNECTION_OVERHEAD_BYTES = 20 * 1024;
 
+/** Bytes that Node.js reads from a socket at one time, and that wait for their turn. */
+export const MAX_INPUT_BYTES = 64 * 1024;
+
 /** Memory for the calls of a listener, unless its daemon sets another. */
 export const DEFAULT_CALLS_BYTES = 256 * 1024 * 1024;
 
 /** Memory for the connections of a listener, unless its daemon sets another. */
 export const DEFAULT_CONNECTIONS_BYTES = 64 * 1024 * 1024;
 
+/** Memory for the input of the connections of a listener, unless its daemon sets another. */
+export const DEFAULT_INPUT_BYTES = 64 * 1024 * 1024;
+
 /** Bytes that one connection hands on to HTTP/2 before others do: some 200 of the smallest frames. */
 export const INPUT_STEP_BYTES = 2 * 1024;
 
--- a/packages/wire/rpcHandler.ts
+++ b/packages/wire/rpcHandler.ts
@@ -14,6 +14,7 @@
 import { readCallMessage } from './callMessage.js';
 import type { MessageFraming, MessageResult } from './callMessage.js';
 import { CALL_OVERHEAD_BYTES, MAX_MESSAGE_BYTES } from './constants.js';
+import { refuseCall } from './peerConnections.js';
 import { assertNever } from '../core/assertNever.js';
 import type { Millis } from '../core/clock.js';
 import { runAfterReads } from '../core/loop/runAfterReads.js';
@@ -30,6 +31,18 @@
 const NOT_FOUND = 404;
 const UNSUPPORTED_MEDIA_TYPE = 415;
 
+/** What the handler of a listener needs of it. */
+export interface RpcHandlerOptions {
+  /** Memory for all calls. */
+  readonly account: MemoryAccount;
+  /** Time in which the message of a call must arrive. */
+  readonly messageTimeoutMs: Millis;
+  /** Receives each call that waits for its message. */
+  readonly beginMessage: (request: Http2ServerRequest) => void;
+  /** Receives each call whose message has arrived. */
+  readonly beginWork: (request: Http2ServerRequest) => void;
+}
+
 /** A call whose memory is reserved. */
 interface AdmittedCall {
   readonly request: Http2ServerRequest;
@@ -38,6 +51,7 @@
   readonly framing: MessageFraming;
   readonly memory: CallMemory;
   readonly messageTimeoutMs: Millis;
+  readonly beginWork: (request: Http2ServerRequest) => void;
 }
 
 const waitForTurn = (): Promise<void> =>
@@ -48,11 +62,6 @@
 /** Handles the calls of a listener. */
 export type RpcHandler = (request: Http2ServerRequest, response: Http2ServerResponse) => void;
 
-/** Refuses a call that no service has seen; the code tells the caller that it did not run. */
-const refuseCall = ({ stream }: Http2ServerRequest): void => {
-  stream.close(constants.NGHTTP2_REFUSED_STREAM);
-};
-
 const findFraming = ({ headers }: Http2ServerRequest): MessageFraming | undefined => {
   const isEncoded = ENCODING_HEADERS.some((name) => (headers[name] ?? 'identity') !== 'identity');
   return isEncoded ? undefined : FRAMINGS[headers['content-type'] ?? ''];
@@ -116,6 +125,7 @@
       return;
     case 'invalid':
     case 'whole':
+      call.beginWork(request);
       await performCall(call, { ...universal, body: streamBody(result) });
       return;
     default:
@@ -128,14 +138,12 @@
  * for it unless its memory was reserved, which it holds until its stream has closed.
  *
  * @param routes - registers the services
- * @param account - memory for all calls
- * @param messageTimeoutMs - time in which the message of a call must arrive
+ * @param options - memory of the calls, and the owner of their connections
  * @returns the handler of the requests of an HTTP/2 server
  */
 export const createRpcHandler = (
   routes: (router: ConnectRouter) => void,
-  account: MemoryAccount,
-  messageTimeoutMs: Millis,
+  { account, beginMessage, ...options }: RpcHandlerOptions,
 ): RpcHandler => {
   const router = createConnectRouter({
     grpc: false,
@@ -158,6 +166,9 @@
     const framing = findFraming(request);
     if (handler === undefined) sendStatus(response, NOT_FOUND);
     else if (framing === undefined) sendStatus(response, UNSUPPORTED_MEDIA_TYPE);
-    else void runCall({ request, response, handler, framing, memory, messageTimeoutMs });
+    else {
+      beginMessage(request);
+      void runCall({ ...options, request, response, handler, framing, memory });
+    }
   };
 };
--- a/packages/wire/rpcListener.test.ts
+++ b/packages/wire/rpcListener.test.ts
@@ -9,6 +9,7 @@
   CALL_OVERHEAD_BYTES,
   CONNECTION_OVERHEAD_BYTES,
   FIELD_OVERHEAD_BYTES,
+  MAX_INPUT_BYTES,
 } from './constants.js';
 import {
   EndpointService,
@@ -20,6 +21,10 @@
 
 const MAX_CALLS = 8;
 const MAX_CONNECTIONS = 8;
+/** Turns of the event loop in which a connection that makes room is gone. */
+const CLOSING_TURNS = 1_000;
+/** Memory of the connections of which one place is kept free. */
+const MAX_KEPT_BYTES = (MAX_CONNECTIONS - 1) * CONNECTION_OVERHEAD_BYTES;
 
 /** Starts a listener whose calls end when `answerAll` is called; `ran` counts those it has seen. */
 const startListener = async (t: ExecutionContext, messageTimeoutMs = 60_000) => {
@@ -28,6 +33,7 @@
   const memory = {
     calls: createMemoryAccount(MAX_CALLS * (CALL_OVERHEAD_BYTES + 1_024)),
     connections: createMemoryAccount(MAX_CONNECTIONS * CONNECTION_OVERHEAD_BYTES),
+    input: createMemoryAccount(MAX_CONNECTIONS * MAX_INPUT_BYTES),
   };
   const listener = createRpcListener(
     (router) => {
@@ -59,6 +65,15 @@
   return session;
 };
 
+/** Waits until the listener has taken a connection, or dropped it. */
+const waitForSession = (session: ClientHttp2Session): Promise<void> =>
+  new Promise((resolve) => {
+    for (const event of ['remoteSettings', 'close'] as const)
+      session.once(event, () => {
+        resolve();
+      });
+  });
+
 const MESSAGE = toBinary(FenceRequestSchema, create(FenceRequestSchema, { format: 1 }));
 
 const openCall = (
@@ -185,6 +200,33 @@
   t.is(await answer, '200');
 });
 
+// Guards against peers whose messages never end: they took all connections, and calls of others were not accepted.
+test('connections whose calls lack their messages make room, the one that waits for longest first', async (t) => {
+  const { answerAll, memory, seen, url } = await startListener(t);
+  const crowd: ClientHttp2Session[] = [];
+  const answers: Promise<string>[] = [];
+  for (let opened = 0; opened < MAX_CONNECTIONS * 2; opened += 1) {
+    const session = openSession(t, url);
+    const call = openCall(session);
+    call.write(MESSAGE.subarray(0, 1));
+    answers.push(waitForAnswer(call));
+    crowd.push(session);
+    await waitForSession(session);
+    // One that makes room keeps its place until it has closed.
+    for (let turn = 0; turn < CLOSING_TURNS; turn += 1)
+      if (memory.connections.getReserved() > MAX_KEPT_BYTES) await new Promise(setImmediate);
+  }
+  const call = openCall(openSession(t, url));
+  const answer = waitForAnswer(call);
+  call.end(MESSAGE);
+  while (seen.ran === 0 && !call.closed) await new Promise(setImmediate);
+  answerAll();
+  t.is(await answer, '200');
+  t.is(await answers[0], 'reset 7');
+  for (const session of crowd) session.destroy();
+  await waitForZero(memory.calls.getReserved);
+});
+
 type Step = 'open' | 'part' | 'end' | 'reset' | 'answer' | 'close' | 'connect' | 'malformed';
 
 const STEPS: readonly Step[] = [
@@ -213,6 +255,8 @@
     return session;
   };
   let refused = 0;
+  const sumReserved = (): number =>
+    Object.values(memory).reduce((sum, account) => sum + account.getReserved(), 0);
   const runSteps = async (steps: readonly (readonly [Step, number])[]): Promise<void> => {
     const sessions = [await connectSession()];
     const calls: ClientHttp2Stream[] = [];
@@ -234,9 +278,8 @@
     }
     for (const session of sessions) session.destroy();
     answerAll();
-    await waitForZero(() => memory.calls.getReserved() + memory.connections.getReserved());
-    t.is(memory.calls.getReserved(), 0);
-    t.is(memory.connections.getReserved(), 0);
+    await waitForZero(sumReserved);
+    for (const account of Object.values(memory)) t.is(account.getReserved(), 0);
     refused += calls.filter(({ rstCode }) => rstCode === 7).length;
   };
   const steps = fc.array(fc.tuple(fc.constantFrom(...STEPS), fc.nat(40)), {
--- a/packages/wire/rpcListener.ts
+++ b/packages/wire/rpcListener.ts
@@ -10,17 +10,19 @@
   CONNECTION_PING_TIMEOUT_MS,
   DEFAULT_CALLS_BYTES,
   DEFAULT_CONNECTIONS_BYTES,
+  DEFAULT_INPUT_BYTES,
   HEADER_TABLE_BYTES,
   MAX_CALL_HEAD_BYTES,
   MAX_CALL_HEAD_FIELDS,
   MAX_CONCURRENT_STREAMS_PER_CONNECTION,
+  MAX_INPUT_BYTES,
   MAX_SESSION_MEGABYTES,
   MESSAGE_TIMEOUT_MS,
 } from './constants.js';
 import { createPacedInput } from './pacedInput.js';
+import { createPeerConnections } from './peerConnections.js';
 import { createRpcHandler } from './rpcHandler.js';
 import type { Millis } from '../core/clock.js';
-import { createConnectionLimit } from '../core/http/connectionLimit.js';
 import { createTurnQueue } from '../core/loop/turnQueue.js';
 import { createMemoryAccount } from '../core/memory/memoryAccount.js';
 import type { MemoryAccount } from '../core/memory/types.js';
@@ -38,13 +40,16 @@
 export interface RpcMemory {
   /** Messages of calls that have not ended, and what else a call takes. */
   readonly calls: MemoryAccount;
-  /** Connections without calls. */
+  /** Connections without calls and input. */
   readonly connections: MemoryAccount;
+  /** Bytes that have been read from the connections and are not handed on yet. */
+  readonly input: MemoryAccount;
 }
 
 const createRpcMemory = (): RpcMemory => ({
   calls: createMemoryAccount(DEFAULT_CALLS_BYTES),
   connections: createMemoryAccount(DEFAULT_CONNECTIONS_BYTES),
+  input: createMemoryAccount(DEFAULT_INPUT_BYTES),
 });
 
 /** Limits of what the session of one connection keeps before a call reaches the handler. */
@@ -97,32 +102,25 @@
   messageTimeoutMs: Millis = MESSAGE_TIMEOUT_MS,
 ): RpcListener => {
   const sessions = new Set<Http2Session>();
-  const limit = createConnectionLimit<Http2Session>({
-    account: memory.connections,
-    connectionBytes: CONNECTION_OVERHEAD_BYTES,
-    close: (session) => {
-      session.destroy();
-    },
-  });
-  const handleCall = createRpcHandler(routes, memory.calls, messageTimeoutMs);
-  const server = createServer(SESSION_OPTIONS, (request, response) => {
-    const { session } = request.stream;
-    if (session !== undefined) {
-      limit.begin(session);
-      request.stream.once('close', () => {
-        limit.end(session);
-      });
-    }
-    handleCall(request, response);
+  const connections = createPeerConnections([
+    { account: memory.connections, bytes: CONNECTION_OVERHEAD_BYTES },
+    { account: memory.input, bytes: MAX_INPUT_BYTES },
+  ]);
+  const handleCall = createRpcHandler(routes, {
+    account: memory.calls,
+    messageTimeoutMs,
+    beginMessage: connections.beginMessage,
+    beginWork: connections.beginWork,
   });
-  server.maxConnections = limit.maxConnections;
+  const server = createServer(SESSION_OPTIONS, handleCall);
+  server.maxConnections = connections.maxConnections;
   wirePacedInput(server);
   server.on('session', (session) => {
     sessions.add(session);
-    limit.add(session);
+    connections.add(session);
     session.on('close', () => {
       sessions.delete(session);
-      limit.remove(session);
+      connections.remove(session);
     });
   });
   return {
