Join the parts of messages and of answers of engines as they arrive

Callers saw nothing yet: a peer that sends the message of a call a byte at a time, or an engine that answers in chunks of one byte, makes a daemon keep an object of some 200 bytes for each, which no account holds.

Cause: both readers kept the parts until the end and reserved their bytes alone.

Change: both join them in core/bytes/byteBlocks, as bodies of requests and answers of the platform's services do.

Evidence: tests count the parts that are in memory before the last one: all 1,000 and 2,000 before, at most 2 now. A message is whole in whatever parts it arrives.

--- a/packages/endpoint/engine/boundedBody.ts
+++ b/packages/endpoint/engine/boundedBody.ts
@@ -1,3 +1,5 @@
+import { appendChunk, createByteBlocks, takeParts } from '../../core/bytes/byteBlocks.js';
+
 /**
  * Reads a response body into memory, up to a limit. Leaving the loop early closes the connection.
  *
@@ -10,12 +12,11 @@
   body: AsyncIterable<unknown>,
   maxBytes: number,
 ): Promise<Buffer> => {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const content = createByteBlocks();
   for await (const chunk of body as AsyncIterable<Uint8Array>) {
-    size += chunk.length;
-    if (size > maxBytes) throw new Error(`the body exceeds ${maxBytes.toString()} bytes`);
-    chunks.push(chunk);
+    if (content.length + chunk.length > maxBytes)
+      throw new Error(`the body exceeds ${maxBytes.toString()} bytes`);
+    appendChunk(content, chunk);
   }
-  return Buffer.concat(chunks);
+  return Buffer.concat(takeParts(content));
 };
--- a/packages/wire/callMessage.ts
+++ b/packages/wire/callMessage.ts
@@ -3,6 +3,7 @@
 import type { CallMemory } from './callMemory.js';
 import { FIELD_OVERHEAD_BYTES, MAX_MESSAGE_BYTES, MESSAGE_COPIES } from './constants.js';
 import { countFields } from './messageFields.js';
+import { appendChunk, createByteBlocks, takeParts } from '../core/bytes/byteBlocks.js';
 
 /** How the message of a call is framed: alone, or behind a prefix of flags and length. */
 export type MessageFraming = 'plain' | 'prefixed';
@@ -68,14 +69,12 @@
   schema: DescMessage,
   memory: CallMemory,
 ): Promise<MessageResult> => {
-  const kept: Uint8Array[] = [];
-  let length = 0;
+  const content = createByteBlocks();
   for await (const part of parts) {
-    length += part.length;
-    if (length > MAX_MESSAGE_BYTES + PREFIX_BYTES) return TOO_LARGE;
+    if (content.length + part.length > MAX_MESSAGE_BYTES + PREFIX_BYTES) return TOO_LARGE;
     if (memory.reserve(part.length * MESSAGE_COPIES) === 'full') return { kind: 'no-room' };
-    kept.push(part);
+    appendChunk(content, part);
   }
-  const bytes = Buffer.concat(kept, length);
+  const bytes = Buffer.concat(takeParts(content));
   return checkMessage(bytes, framing, schema, memory) ?? { kind: 'whole', bytes };
 };
