Report versions that are forgotten as ordered

Callers saw nothing: beyond 64 ordered versions of a service, the oldest one is forgotten and would serve if it started, and no line of a gateway told it.

Change: version-forgotten (4018) names it.

Evidence: the test of the limit counts the events: none before, 128 for 192 orders now.

--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -336,6 +336,11 @@
     level: 'info',
     text: 'The versions of a service that serve, or that were ordered and get no requests, have changed.',
   },
+  'version-forgotten': {
+    number: 4018,
+    level: 'warn',
+    text: 'A service was ordered to more versions than are remembered. The oldest one would serve if it started now.',
+  },
   'run-stop': {
     number: 5010,
     level: 'info',
--- a/packages/gateway/moves/moves.test.ts
+++ b/packages/gateway/moves/moves.test.ts
@@ -38,11 +38,13 @@
   let { state } = logic.init();
   let timers: readonly { readonly at: number; readonly event: MovesEvent }[] = [];
   let offset = 0;
+  const logged: string[] = [];
   const registered = new Map<string, RegisteredVersion>();
   const post = (event: MovesEvent): void => {
     const step = logic.decide(state, event);
     ({ state } = step);
     for (const effect of step.effects) {
+      if (effect.kind === 'log') logged.push(effect.name);
       if (effect.kind !== 'schedule' || effect.event.to !== 'moves') continue;
       timers = [...timers, { at: clock.now() + effect.delayMs, event: effect.event }];
     }
@@ -89,6 +91,7 @@
   post({ to: 'moves', kind: 'moves-changed', changes: [], scope: 'all' });
   return {
     apply,
+    logged,
     countNamed: (): number => state.versions.get(SERVICE)?.orders.named.size ?? 0,
     listRegistered: (): readonly string[] => [...registered.keys()],
     listServed: (): readonly string[] => {
@@ -139,7 +142,8 @@
   t.pass();
 });
 
-// Guards against memory, and work for each order, that grow with all orders that were ever given.
+// Guards against memory, and work for each order, that grow with all orders that were ever given, and against
+// a limit that acts unseen.
 test('the ordered versions that are remembered are limited', (t) => {
   const moves = startMoves();
   for (let order = 0; order < 3 * MAX_NAMED_VERSIONS; order += 1) {
@@ -147,4 +151,6 @@
   }
   t.is(moves.countNamed(), MAX_NAMED_VERSIONS);
   t.deepEqual(moves.listServed(), [FIRST]);
+  const forgotten = moves.logged.filter((name) => name === 'version-forgotten');
+  t.is(forgotten.length, 2 * MAX_NAMED_VERSIONS);
 });
--- a/packages/gateway/moves/serviceVersions.ts
+++ b/packages/gateway/moves/serviceVersions.ts
@@ -58,6 +58,20 @@
     : [{ kind: 'log', name: 'version-roles', details: { entity: service, data } }];
 };
 
+/** Reports the versions that are not known any more to have been ordered. */
+const describeForgotten = (
+  service: ServiceName,
+  before: ReadonlySet<VersionName>,
+  after: ReadonlySet<VersionName>,
+): readonly GatewayEffect[] =>
+  [...before]
+    .filter((version) => !after.has(version))
+    .map((version) => ({
+      kind: 'log',
+      name: 'version-forgotten',
+      details: { entity: service, data: { version } },
+    }));
+
 const decideVersions = (
   service: ServiceName,
   before: ServiceVersions,
@@ -86,11 +100,14 @@
 ): VersionedService => {
   const { missing, orders, roles } = versions;
   const { history, named } = orders;
-  return decideVersions(service, versions, {
+  const nextNamed = addNamed(named, target);
+  const decided = decideVersions(service, versions, {
     roles: history === 'unread' ? roles : recordOrder(roles, named, target),
-    orders: { named: addNamed(named, target), history },
+    orders: { named: nextNamed, history },
     missing,
   });
+  const forgotten = describeForgotten(service, named, nextNamed);
+  return { ...decided, effects: [...decided.effects, ...forgotten] };
 };
 
 /**
