--- a/packages/core/events/catalogue.ts
+++ b/packages/core/events/catalogue.ts
@@ -331,21 +331,6 @@
     level: 'info',
     text: 'The engine of a silent stream answered on a new connection whether it runs the request.',
   },
-  'version-roles': {
-    number: 4017,
-    level: 'info',
-    text: 'The versions of a service that serve, or that were ordered and get no requests, have changed.',
-  },
-  'version-forgotten': {
-    number: 4018,
-    level: 'warn',
-    text: 'A service was ordered to more versions than are remembered. The oldest one would serve if it started now.',
-  },
-  'run-stop': {
-    number: 5010,
-    level: 'info',
-    text: 'An engine was ordered to stop the run of an attempt that was given up, or the order came to something.',
-  },
   'settings-reloaded': {
     number: 1007,
     level: 'info',
--- a/packages/core/events/gatewayCatalogue.ts
+++ b/packages/core/events/gatewayCatalogue.ts
@@ -1,6 +1,6 @@
 import type { CatalogueEntry } from './types.js';
 
-/** Events of a gateway daemon about the feeds of the platform's store, its duties and its queue. */
+/** Events of a gateway daemon about the feeds of the platform's store, its duties, its queue, versions and runs. */
 export const GATEWAY_EVENTS = {
   'feed-reloaded': {
     number: 3010,
@@ -52,4 +52,19 @@
     level: 'info',
     text: 'A request waits for room in an engine of its service; the data has its rank and how many wait.',
   },
+  'version-roles': {
+    number: 4017,
+    level: 'info',
+    text: 'The versions of a service that serve, or that were ordered and get no requests, have changed.',
+  },
+  'version-forgotten': {
+    number: 4018,
+    level: 'warn',
+    text: 'A service was ordered to more versions than are remembered. The oldest one would serve if it started now.',
+  },
+  'run-stop': {
+    number: 5010,
+    level: 'info',
+    text: 'An engine was ordered to stop the run of an attempt that was given up, or the order came to something.',
+  },
 } as const satisfies Readonly<Record<string, CatalogueEntry>>;
