--- a/packages/gateway/perform.test.ts
+++ b/packages/gateway/perform.test.ts
@@ -106,8 +106,9 @@
   const { adapters, posted } = createFailingAdapters();
   const statements = [{ kind: 'leaving' }] as const;
   const succeed = () => Promise.resolve({ value: null, statements });
+  const readReport = () => Promise.resolve({ value: { kind: 'unanswered' }, statements });
   const engines = {
-    readReport: succeed,
+    readReport,
     transfer: succeed,
     stopRun: succeed,
     releaseCopy: succeed,
--- a/packages/gateway/perform.ts
+++ b/packages/gateway/perform.ts
@@ -13,10 +13,10 @@
 import type {
   ControlAnswer,
   EngineControl,
-  EngineReport,
   FeedPosition,
   FeedReader,
   FeedResult,
+  ReportAnswer,
   TransferResult,
 } from './types.js';
 import { assertNever } from '../core/assertNever.js';
@@ -125,19 +125,22 @@
   );
 };
 
+const toUnanswered = (): ReportAnswer => ({ kind: 'unanswered' });
+
 const readReport = (
   { endpoint, kind }: Extract<GatewayEffect, { kind: 'read-report' }>,
   adapters: GatewayAdapters,
 ): void => {
-  handleAnswer<EngineReport | null>(
+  handleAnswer<ReportAnswer>(
     kind,
     endpoint,
     adapters.engines.readReport(endpoint.address),
     adapters,
-    () => null,
-    (report) => {
-      if (report === null) return;
+    toUnanswered,
+    (answer) => {
+      if (answer.kind !== 'reported') return;
       const { id } = endpoint;
+      const { report } = answer;
       adapters.loop().post({ to: 'membership', kind: 'report-read', endpoint: id, report });
     },
   );
@@ -241,14 +244,14 @@
   { attempt, endpoint, key, kind, requestId }: Extract<GatewayEffect, { kind: 'check-run' }>,
   adapters: GatewayAdapters,
 ): void => {
-  handleAnswer<EngineReport | null>(
+  handleAnswer<ReportAnswer>(
     kind,
     endpoint,
     adapters.engines.readReport(endpoint.address),
     adapters,
-    () => null,
-    (report) => {
-      const run = findRun(report, requestId);
+    toUnanswered,
+    (answer) => {
+      const run = findRun(answer, requestId);
       adapters.loop().post({ to: 'requests', kind: 'run-checked', key, attempt, run });
     },
   );
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -176,7 +176,9 @@
     case 'not-stated':
       return continueUnverified(forwarding, attempt, context);
     case 'unreachable':
+    case 'unanswered':
     case 'not-running':
+    case 'ended':
       // The stall check continues the stream elsewhere in time.
       return WAIT;
     default:
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -18,7 +18,8 @@
 import type { RunState, TransferResult } from '../types.js';
 
 /** What an order to stop a run has come to. */
-type StopStep = 'ordered' | 'stopped' | 'not-running' | 'unreachable' | 'unconfirmed' | 'given-up';
+type StopStep =
+  'ordered' | 'stopped' | 'not-running' | 'ended' | 'unreachable' | 'unconfirmed' | 'given-up';
 
 const describeStop = (
   { request, route }: Forwarding,
@@ -304,5 +305,6 @@
   context: RequestsContext,
 ): Effects => {
   const found = findStop(key, attempt, context);
-  return found === null || run.kind !== 'not-running' ? [] : endStop(...found, run.kind, context);
+  const isOver = run.kind === 'not-running' || run.kind === 'ended';
+  return found === null || !isOver ? [] : endStop(...found, run.kind, context);
 };
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -145,7 +145,9 @@
     }
     case 'not-stated':
       return [describeSilence(forwarding, attempt, silentMs, 'unverified')];
+    case 'ended':
     case 'not-running':
+    case 'unanswered':
     case 'unreachable':
     case undefined:
       return continueElsewhere(forwarding, attempt, context);
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -201,19 +201,33 @@
   readonly phase: 'ready' | 'leaving';
 }
 
-/** State that an engine reports about itself. */
+/** State that an engine reports about itself, as of some hundred milliseconds ago. */
 export interface EngineReport extends PhaseReport {
   readonly runs: ReportedRuns;
+  /**
+   * Number of requests that the engine has and does not list as runs: they are queued or preempted, or
+   * wait for their first token. Null when the report does not state it.
+   */
+  readonly unlisted: number | null;
 }
 
+/** Outcome of reading the report of an engine. */
+export type ReportAnswer =
+  | { readonly kind: 'reported'; readonly report: EngineReport }
+  /** No connection to the engine was established. */
+  | { readonly kind: 'unreachable' }
+  /** The engine took the connection, and gave no usable answer. */
+  | { readonly kind: 'unanswered' };
+
 /** What an engine says on a new connection about the run of one request. */
 export type RunState =
-  /** The engine did not answer, so nothing is known of its runs. */
-  | { readonly kind: 'unreachable' }
+  | Exclude<ReportAnswer, { kind: 'reported' }>
   /** The report does not say what the engine runs. */
   | { readonly kind: 'not-stated' }
-  /** The run has ended, waits for its first token or was preempted. */
+  /** The engine does not run the request now. It may be among those that wait there. */
   | { readonly kind: 'not-running' }
+  /** The engine does not have the request any more: it does not run it, and nothing waits there. */
+  | { readonly kind: 'ended' }
   /** The run has made this number of events, as of some hundred milliseconds ago. */
   | { readonly kind: 'running'; readonly events: number };
 
@@ -225,8 +239,8 @@
 
 /** Control commands to engines. */
 export interface EngineControl {
-  /** Reads the report of an engine on a new connection; null without a usable answer. */
-  readonly readReport: (address: EndpointAddress) => Promise<ControlAnswer<EngineReport | null>>;
+  /** Reads the report of an engine on a new connection. */
+  readonly readReport: (address: EndpointAddress) => Promise<ControlAnswer<ReportAnswer>>;
   readonly transfer: (order: TransferOrder) => Promise<ControlAnswer<TransferResult>>;
   /** Transfers a run whose connection is closed; the connection of the order has a short timeout. */
   readonly stopRun: (order: TransferOrder) => Promise<ControlAnswer<TransferResult>>;
