--- a/packages/gateway/membership/candidates.fixture.ts
+++ b/packages/gateway/membership/candidates.fixture.ts
@@ -38,6 +38,7 @@
  */
 export const createRequests = (): RequestsState => ({
   inFlight: new Map(),
+  runStops: new Map(),
   answerBytes: 0,
   startedAt: 0,
   budgets: new Map(),
--- a/packages/gateway/requests/attemptEnds.ts
+++ b/packages/gateway/requests/attemptEnds.ts
@@ -21,7 +21,9 @@
   /** The endpoint answered with an error, which the caller gets if no other attempt succeeds. */
   | { readonly kind: 'failed-answer'; readonly message: string }
   /** No event arrived within the stall timeout, and another endpoint continues the stream. */
-  | { readonly kind: 'silent'; readonly message: string };
+  | { readonly kind: 'silent'; readonly message: string }
+  /** The endpoint of a silent stream has confirmed that its run has ended. */
+  | { readonly kind: 'stopped'; readonly message: string };
 
 /** An attempt that was not sent shows nothing of its endpoint. */
 const toObservation = (end: AttemptEnd): AttemptObservation | null => {
@@ -37,6 +39,7 @@
     case 'garbled':
     case 'failed-answer':
     case 'silent':
+    case 'stopped':
       return { kind: 'failed' };
     default:
       return assertNever(end);
@@ -62,6 +65,7 @@
     case 'garbled':
     case 'failed-answer':
     case 'silent':
+    case 'stopped':
       return false;
     default:
       return assertNever(end);
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -57,6 +57,15 @@
 /** Delay before an order to stop a run that was not confirmed is repeated. */
 export const RUN_STOP_RETRY_MS = 100;
 
+/**
+ * Delay before an order to stop a run is repeated that the engine does not work on now. Two engines may
+ * work on one generation for 400 ms; the rest is for a late timer and the way of the order.
+ */
+export const RUN_STOP_WATCH_MS = 200;
+
+/** Age of what an engine reports, at the most: it reports its state of some hundred milliseconds ago. */
+export const MAX_REPORT_AGE_MS = 1_000;
+
 /** Size limit of a whole answer, which is buffered until it is complete. */
 export const MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
 
--- a/packages/gateway/requests/requestLimits.test.ts
+++ b/packages/gateway/requests/requestLimits.test.ts
@@ -65,7 +65,7 @@
   const hosts = Array.from({ length: daemons }, (_, index) => `10.0.0.${index.toString()}`);
   const hash = (text: string): number => (Number(text.split('.').at(-1)) * 37) % 101;
   const candidate = buildCandidate(buildEndpoint('e-1'), { coldHeadroom: 0 });
-  const state = { inFlight: new Map(), answerBytes: 0, startedAt: 0 };
+  const state = { inFlight: new Map(), runStops: new Map(), answerBytes: 0, startedAt: 0 };
   return hosts
     .map((host) => {
       const inputs = {
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -18,8 +18,9 @@
 import { checkRun, handleRunState } from './runChecks.js';
 import { sendAttempt } from './sendAttempt.js';
 import { getBudget } from './sendDecisions.js';
-import { checkStop, handleStopAnswer, handleStoppedRunState } from './runStops.js';
 import { checkStall, endSilentAttempt } from './silence.js';
+import { checkStop, handleStopAnswer, handleStoppedRunState } from './stopAnswers.js';
+import { findStop } from './stopOrders.js';
 import type {
   Attempt,
   Effects,
@@ -112,7 +113,6 @@
   configurationVersion,
   attempts: new Map(),
   tried: new Set(),
-  stops: new Map(),
   waitsForStops: null,
   attemptsMade: 0,
   sends: 0,
@@ -227,9 +227,14 @@
   { kind: 'transfer-ended' | 'run-stop-answered' | 'run-stop-due' }
 >;
 
-/** Events of attempts that have ended are late, but for those of runs that are to stop. */
-const handleEndedAttempt = (event: AttemptEvent, context: RequestsContext): Effects =>
-  event.kind === 'run-checked' ? handleStoppedRunState(event, context) : [];
+/** What an engine says about a run that is to stop, whose attempt or request may have ended. */
+const handleRunCheck = (
+  { attempt, key, run }: Extract<RequestsEvent, { kind: 'run-checked' }>,
+  context: RequestsContext,
+): Effects | null => {
+  const stop = findStop(key, attempt, context);
+  return stop === null ? null : handleStoppedRunState(stop, run, context);
+};
 
 const handleAttemptEvent = (
   event: AttemptEvent,
@@ -293,6 +298,8 @@
   if (event.kind === 'transfer-ended') return handleTransferResult(event, context);
   if (event.kind === 'run-stop-answered') return handleStopAnswer(event, context);
   if (event.kind === 'run-stop-due') return checkStop(event, context);
+  const checked = event.kind === 'run-checked' ? handleRunCheck(event, context) : null;
+  if (checked !== null) return checked;
   const forwarding = context.state.inFlight.get(event.key);
   if (forwarding === undefined) return [];
   switch (event.kind) {
@@ -316,7 +323,8 @@
     case 'run-checked':
     case 'overlap-ended': {
       const attempt = forwarding.attempts.get(event.attempt);
-      if (attempt === undefined) return handleEndedAttempt(event, context);
+      // Events of attempts that have ended are late.
+      if (attempt === undefined) return [];
       const handled = handleAttemptEvent(event, forwarding, attempt, context);
       return [...handled, ...releaseHeldStream(forwarding, context)];
     }
@@ -339,6 +347,7 @@
     state: {
       startedAt: inputs.clock.now(),
       inFlight: new Map(),
+      runStops: new Map(),
       answerBytes: 0,
       budgets: new Map(),
       sentTimes: new Map(),
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -4,8 +4,9 @@
   RUN_CHECK_SHARE,
   UNVERIFIED_CONTINUATION_MARGIN_MS,
 } from './constants.js';
-import { continueElsewhere } from './silence.js';
 import { computeStallTimeout } from './stallTimeout.js';
+import { findStop } from './stopOrders.js';
+import { continueElsewhere } from './streamContinuations.js';
 import { transferAtOnce } from './transferStarts.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -57,9 +58,10 @@
     ? [scheduleRunCheck(forwarding, attempt, getStreamDelay(context))]
     : [];
 
-/** Reports whether another attempt or a transfer already decides what becomes of the stream. */
-const isDecided = (forwarding: Forwarding, attempt: Attempt): boolean =>
+/** Reports whether another attempt, a transfer or an order to stop already decides what becomes of the stream. */
+const isDecided = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): boolean =>
   forwarding.attempts.size > 1 ||
+  findStop(forwarding.request.key, attempt.number, context) !== null ||
   attempt.failure !== null ||
   (attempt.transfer !== null && attempt.transfer.phase !== 'waiting');
 
@@ -85,7 +87,8 @@
     const waitMs = Math.min(delayMs - silentMs, getStreamDelay(context));
     return [scheduleRunCheck(forwarding, attempt, waitMs)];
   }
-  if (isDecided(forwarding, attempt)) return [scheduleRunCheck(forwarding, attempt, delayMs)];
+  if (isDecided(forwarding, attempt, context))
+    return [scheduleRunCheck(forwarding, attempt, delayMs)];
   return [
     {
       kind: 'check-run',
@@ -206,7 +209,8 @@
   const delayMs = computeCheckDelay(forwarding, attempt, context);
   const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
   if (silentMs < delayMs) return [scheduleRunCheck(forwarding, attempt, delayMs - silentMs)];
-  if (isDecided(forwarding, attempt)) return [scheduleRunCheck(forwarding, attempt, delayMs)];
+  if (isDecided(forwarding, attempt, context))
+    return [scheduleRunCheck(forwarding, attempt, delayMs)];
   const before = attempt.reportedRun;
   attempt.reportedRun = run;
   const { effects, response } = decideResponse(forwarding, attempt, before, run, context);
--- a/packages/gateway/requests/runStops.test.ts
+++ b/packages/gateway/requests/runStops.test.ts
@@ -5,6 +5,7 @@
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
+  getOrder,
   SIGNED_HEAD,
   toEvent,
   toSource,
@@ -102,21 +103,40 @@
   }
 });
 
-// Guards against a wait for an order of which nobody can hear, or an order that the crash has overtaken.
-test('a request goes on at once after the end of an engine that cannot be reached', (t) => {
-  for (const probe of ['refused', 'silent'] satisfies ProbeResult[]) {
-    const harness = createHarness();
-    harness.setProbeResult(probe);
-    const order = startStream(harness, '/memo/1');
-    const failure = { kind: 'broken', message: 'reset' } as const;
-    const effects = harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
-    t.deepEqual(findStops(effects), [], probe);
-    t.is(findAttemptOrders(effects).length, 1, probe);
-  }
+/** Starts a stream whose engine has crashed, or takes no connection within the time of a probe. */
+const startAndProbe = (harness: RequestsHarness, probe: ProbeResult) => {
+  harness.setProbeResult(probe);
+  const order = startStream(harness, '/memo/1');
+  const failure = { kind: 'broken', message: 'reset' } as const;
+  return { order, broken: harness.post({ ...toEvent(order), kind: 'attempt-failed', failure }) };
+};
+
+// Guards against a wait for an order that the crash of its engine has overtaken.
+test('a request goes on at once after the crash of its engine', (t) => {
+  const { broken } = startAndProbe(createHarness(), 'refused');
+  t.deepEqual(findStops(broken), []);
+  t.is(findAttemptOrders(broken).length, 1);
+});
+
+// Guards against an engine that many callers besiege: it takes a connection later than a probe waits for it,
+// and works on beside the continuation (issue 64).
+test('an engine that did not answer its probe is ordered to stop', (t) => {
+  const harness = createHarness();
+  const { broken, order } = startAndProbe(harness, 'silent');
+  assertWaits(t, broken, 'probe');
+  t.deepEqual(
+    findStops(broken).map(({ source }) => source),
+    [toSource(order)],
+  );
+  t.is(findAttemptOrders(postStopAnswer(harness, order, { kind: 'not-running' })).length, 1);
+});
+
+// Guards against a wait for an order of which nobody can hear.
+test('a request goes on as soon as no connection to its engine is established', (t) => {
   const harness = createHarness();
   const order = startStream(harness, '/memo/1');
   GIVE_UPS['an event is spoiled']?.(harness, order);
-  const effects = postStopAnswer(harness, order, { kind: 'unreachable', message: 'refused' });
+  const effects = postStopAnswer(harness, order, { kind: 'unreachable', message: 'timed out' });
   t.is(findAttemptOrders(effects).length, 1);
 });
 
@@ -161,7 +181,14 @@
   }
 });
 
-const RUNNING: RunState = { kind: 'running', events: 5 };
+/** What an engine reports while it may have the request. */
+const UNPROVED: readonly RunState[] = [
+  { kind: 'running', events: 5 },
+  { kind: 'not-running' },
+  { kind: 'not-stated' },
+  { kind: 'unanswered' },
+  { kind: 'unreachable' },
+];
 
 // Guards against a stream that waits until its deadline, or runs twice, when an order is not answered.
 test('a request whose engine does not answer the order goes on when the run has ended', (t) => {
@@ -169,9 +196,11 @@
   const order = startStream(harness, '/memo/1');
   GIVE_UPS['an event is spoiled']?.(harness, order);
   t.truthy(findEffect(harness.wait(NEXT_CHECK_MS), 'check-run'));
-  for (const run of [RUNNING, { kind: 'not-stated' }, { kind: 'unreachable' }] satisfies RunState[])
+  // The report may be older than the request.
+  t.truthy(findEffect(harness.wait(NEXT_CHECK_MS), 'check-run'));
+  for (const run of UNPROVED)
     assertWaits(t, harness.post({ ...toEvent(order), kind: 'run-checked', run }), run.kind);
-  const run = { kind: 'not-running' } as const;
+  const run = { kind: 'ended' } as const;
   const ended = harness.post({ ...toEvent(order), kind: 'run-checked', run });
   t.is(findAttemptOrders(ended).length, 1);
   // The copy of the order comes late and serves nobody.
@@ -189,13 +218,19 @@
   t.is(harness.countOpen(), 0);
 });
 
+/** Lets a stream be silent until another engine continues it, since its own does not run it now. */
+const continueSilent = (harness: RequestsHarness, order: AttemptOrder): AttemptOrder => {
+  const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
+  if (continuation.head.endpointId === order.head.endpointId) throw new Error('the same engine');
+  return continuation;
+};
+
 // Guards against an engine that works on beside the one that won the overlap of a silent stream.
 test('the engine that loses the overlap of a silent stream is ordered to stop', (t) => {
   for (const path of PATHS) {
     const harness = createHarness();
     const order = startStream(harness, path);
-    const [continuation] = findAttemptOrders(harness.wait(LONG_SILENCE_MS));
-    if (continuation === undefined) throw new Error('no continuation was opened');
+    const continuation = continueSilent(harness, order);
     harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
     harness.post({ ...toEvent(continuation), kind: 'answer-started', head: SIGNED_HEAD });
     const won = [
@@ -220,8 +255,7 @@
 test('a request waits for all of its earlier runs', (t) => {
   const harness = createHarness();
   const order = startStream(harness, '/summary/1');
-  const [second] = findAttemptOrders(harness.wait(LONG_SILENCE_MS));
-  if (second === undefined) throw new Error('no continuation was opened');
+  const second = continueSilent(harness, order);
   const failure = { kind: 'broken', message: 'reset' } as const;
   t.is(findStops(harness.post({ ...toEvent(order), kind: 'attempt-failed', failure })).length, 1);
   const unreachable = { kind: 'unreachable', message: 'refused' } as const;
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -1,14 +1,11 @@
 import { removeAttempt } from './answerMemory.js';
-import { openContinuation, planFromCopy, planFurtherAttempt } from './attempts.js';
-import type { AttemptPlan } from './attempts.js';
 import { CONTINUATION_OVERLAP_MS, TRANSFER_RETRY_MS } from './constants.js';
-import { checkRequestContent } from './content.js';
-import { findCopy } from './generationCopy.js';
 import { endAttempt } from './retrying.js';
 import { stopRun } from './runStops.js';
-import { decideFurtherSend } from './sendDecisions.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { computeStallTimeout } from './stallTimeout.js';
+import { findStop } from './stopOrders.js';
+import { continueElsewhere, describeSilence } from './streamContinuations.js';
 import { isWithinNotice, waitForTransfer } from './transferTurns.js';
 import { transferAtOnce } from './transferStarts.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
@@ -17,10 +14,6 @@
 import type { EndpointId } from '../../core/ids.js';
 import type { GatewayEffect } from '../effects.js';
 
-/** What is done about a stream whose endpoint is silent. */
-type SilenceResponse =
-  'continued' | 'moved' | 'held' | 'unanswered' | 'no-endpoint' | 'budget-spent' | 'unverified';
-
 const scheduleStallCheck = (
   { request }: Forwarding,
   attempt: Attempt,
@@ -50,85 +43,10 @@
     }));
 };
 
-const describeSilence = (
-  { lastEventId, request, route }: Forwarding,
-  { endpoint, events, number }: Attempt,
-  silentMs: Millis,
-  response: SilenceResponse,
-): GatewayEffect => ({
-  kind: 'log',
-  name: 'stream-stalled',
-  details: {
-    requestId: request.id,
-    endpoint: endpoint.id,
-    entity: route.name,
-    data: {
-      attempt: number,
-      silentMs: Math.round(silentMs),
-      events,
-      lastEventId: lastEventId ?? '',
-      response,
-    },
-  },
-});
-
-/** Continuation of a stream, and what it starts from. */
-interface ContinuationPlan {
-  readonly plan: AttemptPlan;
-  readonly from: 'copy' | 'last-event';
-}
-
-/** Plans the continuation of a stream that its endpoint does not have to give up. */
-const planContinuation = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  context: RequestsContext,
-): ContinuationPlan | null => {
-  if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined') return null;
-  const copy = findCopy(attempt);
-  if (copy !== null) {
-    const plan = planFromCopy(forwarding, copy, context);
-    return plan === null ? null : { plan, from: 'copy' };
-  }
-  if (forwarding.route.resume !== 'resumable') return null;
-  const plan = planFurtherAttempt(forwarding, context);
-  return plan === null ? null : { plan, from: 'last-event' };
-};
-
-/**
- * Continues a silent stream at another endpoint, if one can. The silent one keeps its attempt until
- * the continuation is under way.
- *
- * @param forwarding - request
- * @param attempt - attempt that is silent
- * @param context - state and inputs
- * @returns effects
- */
-export const continueElsewhere = (
-  forwarding: Forwarding,
-  attempt: Attempt,
-  context: RequestsContext,
-): Effects => {
-  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
-  const describe = (response: SilenceResponse): GatewayEffect =>
-    describeSilence(forwarding, attempt, silentMs, response);
-  const planned = planContinuation(forwarding, attempt, context);
-  if (planned === null) return [describe('no-endpoint')];
-  const { from, plan } = planned;
-  const send = { kind: 'continuation', from } as const;
-  const { decision, effects } = decideFurtherSend(forwarding, send, context);
-  if (decision.kind === 'denied') {
-    const response = decision.reason === 'budget-spent' ? 'budget-spent' : 'no-endpoint';
-    return [...effects, describe(response)];
-  }
-  const opened = openContinuation(forwarding, plan, decision.permit, context);
-  return [...effects, describe('continued'), ...opened];
-};
-
 /**
  * Lets a stalled stream go on elsewhere. An endpoint that can be reached may work on without noticing
- * the close of its connection, so it is ordered to stop if it states that it runs the request. It keeps
- * a stream that it cannot be ordered to stop.
+ * the close of its connection, and a report that does not list the run is no proof that it has ended: the
+ * endpoint is ordered to stop first. It keeps a stream that it cannot be ordered to stop.
  */
 const resumeStalled = (
   forwarding: Forwarding,
@@ -177,7 +95,10 @@
     return [scheduleStallCheck(forwarding, attempt, stallTimeoutMs - silentMs)];
   }
   const nextCheck = scheduleStallCheck(forwarding, attempt, stallTimeoutMs);
-  const isEnding = attempt.transfer !== null || attempt.failure !== null;
+  const isEnding =
+    attempt.transfer !== null ||
+    attempt.failure !== null ||
+    findStop(forwarding.request.key, attempt.number, context) !== null;
   // Before its first event, a request may be queued at the endpoint.
   if (attempt.events === 0 || isEnding || forwarding.attempts.size > 1) return [nextCheck];
   return [...resumeStalled(forwarding, attempt, silentMs, context), nextCheck];
--- /dev/null
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -0,0 +1,244 @@
+import { RUN_STOP_CHECK_MS } from './constants.js';
+import { listCopies } from './generationCopy.js';
+import { failRequest } from './outcomes.js';
+import { endAttempt } from './retrying.js';
+import { continueIfStopped } from './runStops.js';
+import { computeStallTimeout } from './stallTimeout.js';
+import {
+  checkReport,
+  computeOrderDelay,
+  findStop,
+  removeStop,
+  isReportRecent,
+  orderStop,
+  recordStep,
+  scheduleCheck,
+} from './stopOrders.js';
+import type { StopStep } from './stopOrders.js';
+import { continueElsewhere } from './streamContinuations.js';
+import type {
+  Attempt,
+  Effects,
+  Forwarding,
+  RequestsContext,
+  RunStop,
+  RunStopPhase,
+  TransferredCopy,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { EndpointIncarnation } from '../../decisions/forwarding/types.js';
+import type { RequestsEvent } from '../events.js';
+import { toIncarnation } from '../statements/incarnations.js';
+import type { RunState, TransferResult } from '../types.js';
+
+/** Attempt whose connection to its engine is still open, with its request. */
+interface OpenAttempt {
+  readonly forwarding: Forwarding;
+  readonly attempt: Attempt;
+}
+
+const findOpenAttempt = (
+  { attempt: number, key }: RunStop,
+  { state }: RequestsContext,
+): OpenAttempt | null => {
+  const forwarding = state.inFlight.get(key);
+  const attempt = forwarding?.attempts.get(number);
+  return forwarding === undefined || attempt === undefined ? null : { forwarding, attempt };
+};
+
+/** Finds the attempt whose request can go on from the memory of its run. */
+const findResumable = (stop: RunStop, context: RequestsContext): Attempt | null => {
+  const open = findOpenAttempt(stop, context);
+  if (open !== null) return open.attempt;
+  const ended = context.state.inFlight.get(stop.key)?.waitsForStops?.attempt ?? null;
+  return ended?.number === stop.attempt ? ended : null;
+};
+
+const releaseMemory = (source: EndpointIncarnation, handle: string): Effects => [
+  { kind: 'release-copy', source, handle },
+];
+
+/** Keeps the memory of a run for its request, or releases it if the request does not need it. */
+const storeMemory = (stop: RunStop, copy: TransferredCopy, context: RequestsContext): Effects => {
+  const attempt = findResumable(stop, context);
+  if (attempt === null) return releaseMemory(toIncarnation(stop.endpoint), copy.handle);
+  // A copy elsewhere is preferred to the memory at the engine that was given up.
+  const isNeeded = copy.holder.id !== stop.endpoint.id || listCopies(attempt).length === 0;
+  if (isNeeded) attempt.copy = copy;
+  return [];
+};
+
+/** Lets the request go on once an engine does not work on one of its runs any more. */
+const continueStopped = (stop: RunStop, context: RequestsContext): Effects => {
+  const open = findOpenAttempt(stop, context);
+  if (open !== null) {
+    const { attempt, forwarding } = open;
+    const end = { kind: 'stopped', message: 'the endpoint has ended the run' } as const;
+    return [
+      { kind: 'cancel-attempt', key: stop.key, attempt: stop.attempt },
+      ...endAttempt(forwarding, attempt, end, context),
+    ];
+  }
+  const forwarding = context.state.inFlight.get(stop.key);
+  return forwarding === undefined ? [] : continueIfStopped(forwarding, context);
+};
+
+/** Ends an order: the run has ended for certain. */
+const endStop = (stop: RunStop, step: StopStep, context: RequestsContext): Effects => {
+  removeStop(stop, context);
+  return [...recordStep(stop, step, context), ...continueStopped(stop, context)];
+};
+
+/**
+ * Continues the silent stream of an engine that does not work on it now. The attempt stays open for the
+ * time of the overlap, after which its engine is ordered to stop again.
+ */
+const continueSilent = (
+  stop: RunStop,
+  { attempt, forwarding }: OpenAttempt,
+  context: RequestsContext,
+): Effects => {
+  removeStop(stop, context);
+  const isDecided = forwarding.attempts.size > 1 || attempt.failure !== null;
+  return isDecided || attempt.lastEventAt > stop.since
+    ? []
+    : continueElsewhere(forwarding, attempt, context);
+};
+
+/**
+ * Lets the request go on although the run may not have ended: its engine does not work on it now. The
+ * order is repeated, so that a run that begins later is stopped.
+ */
+const holdStop = (
+  stop: RunStop,
+  phase: Exclude<RunStopPhase, 'unconfirmed'>,
+  context: RequestsContext,
+): Effects => {
+  const recorded = stop.phase === phase ? [] : recordStep(stop, phase, context);
+  stop.phase = phase;
+  stop.order = 'answered';
+  const open = findOpenAttempt(stop, context);
+  if (open !== null) return [...recorded, ...continueSilent(stop, open, context)];
+  return [
+    ...recorded,
+    scheduleCheck(stop, computeOrderDelay(stop)),
+    ...continueStopped(stop, context),
+  ];
+};
+
+const waitForConfirmation = (stop: RunStop, message: string, context: RequestsContext): Effects => {
+  stop.phase = 'unconfirmed';
+  stop.order = 'answered';
+  return [
+    ...recordStep(stop, 'unconfirmed', context, message),
+    scheduleCheck(stop, computeOrderDelay(stop)),
+  ];
+};
+
+const applyResult = (stop: RunStop, result: TransferResult, context: RequestsContext): Effects => {
+  const { endpoint, target } = stop;
+  switch (result.kind) {
+    case 'copied': {
+      const copy = { holder: target ?? endpoint, handle: result.handle };
+      return [...storeMemory(stop, copy, context), ...endStop(stop, 'stopped', context)];
+    }
+    case 'no-room': {
+      if (result.handle === null)
+        return waitForConfirmation(stop, 'no room and no handle', context);
+      // The source keeps the memory of the run.
+      const copy = { holder: endpoint, handle: result.handle };
+      return [...storeMemory(stop, copy, context), ...endStop(stop, 'stopped', context)];
+    }
+    case 'not-running':
+      stop.misses = 0;
+      return holdStop(stop, 'not-running', context);
+    case 'refused':
+      return endStop(stop, 'refused', context);
+    case 'unreachable':
+      stop.misses += 1;
+      return holdStop(stop, 'unreachable', context);
+    case 'failed':
+      return waitForConfirmation(stop, result.message, context);
+    default:
+      return assertNever(result);
+  }
+};
+
+/**
+ * Handles the answer to an order to stop a run.
+ *
+ * @param event - request, attempt and answer
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const handleStopAnswer = (
+  { attempt, key, result, source }: Extract<RequestsEvent, { kind: 'run-stop-answered' }>,
+  context: RequestsContext,
+): Effects => {
+  const stop = findStop(key, attempt, context);
+  if (stop !== null) return applyResult(stop, result, context);
+  return result.kind === 'copied' ? releaseMemory(source, result.handle) : [];
+};
+
+/** Fails a request that has waited too long: its engine can be reached and may work on it. */
+const failUnconfirmed = (stop: RunStop, context: RequestsContext): Effects => {
+  const forwarding = context.state.inFlight.get(stop.key);
+  if (forwarding?.waitsForStops == null || stop.phase !== 'unconfirmed') return [];
+  if (context.inputs.clock.now() - stop.since < computeStallTimeout(forwarding)) return [];
+  const reason = 'the endpoint did not confirm that it has stopped the run';
+  return [...recordStep(stop, 'given-up', context), ...failRequest(forwarding, reason, context)];
+};
+
+/** Reports whether a silent stream has gone on, so that its run is not to be stopped any more. */
+const isWithdrawn = (stop: RunStop, context: RequestsContext): boolean => {
+  const open = findOpenAttempt(stop, context);
+  return stop.order === 'answered' && open !== null && open.attempt.lastEventAt > stop.since;
+};
+
+const cancelStop = (stop: RunStop, context: RequestsContext): Effects => {
+  removeStop(stop, context);
+  return recordStep(stop, 'withdrawn', context);
+};
+
+const isReportDue = ({ askedAt, phase }: RunStop, { inputs }: RequestsContext): boolean =>
+  phase !== 'unreachable' && inputs.clock.now() - askedAt >= RUN_STOP_CHECK_MS;
+
+/**
+ * Checks on a run whose end has not been proved: orders its stop again, and asks the engine what it runs,
+ * since the answer to the order waits until the memory of the run has been copied.
+ *
+ * @param event - request, attempt and number of the check
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const checkStop = (
+  { attempt, check, key }: Extract<RequestsEvent, { kind: 'run-stop-due' }>,
+  context: RequestsContext,
+): Effects => {
+  const stop = findStop(key, attempt, context);
+  if (stop === null || check !== stop.checks) return [];
+  if (context.inputs.clock.now() >= stop.endsAt) return endStop(stop, 'expired', context);
+  if (isWithdrawn(stop, context)) return cancelStop(stop, context);
+  return [
+    ...failUnconfirmed(stop, context),
+    ...(stop.order === 'answered' ? orderStop(stop, context) : []),
+    ...(isReportDue(stop, context) ? checkReport(stop, context) : []),
+    scheduleCheck(stop, RUN_STOP_CHECK_MS),
+  ];
+};
+
+/**
+ * Handles what an engine says about a run that it was ordered to stop. Only a report in which the request
+ * can be nowhere proves the end of the run.
+ *
+ * @param stop - order to stop the run
+ * @param run - state of the run
+ * @param context - state and inputs
+ * @returns effects; none unless the run has ended
+ */
+export const handleStoppedRunState = (
+  stop: RunStop,
+  run: RunState,
+  context: RequestsContext,
+): Effects =>
+  run.kind === 'ended' && isReportRecent(stop, context) ? endStop(stop, run.kind, context) : [];
--- /dev/null
+++ b/packages/gateway/requests/stopOrders.ts
@@ -0,0 +1,283 @@
+import { chooseTransferTarget } from './attempts.js';
+import { MAX_REPORT_AGE_MS, RUN_STOP_RETRY_MS, RUN_STOP_WATCH_MS } from './constants.js';
+import { listCandidates } from './placementInputs.js';
+import type {
+  Attempt,
+  Effects,
+  Forwarding,
+  RequestsContext,
+  RunStop,
+  RunStopPhase,
+} from './types.js';
+import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
+import type { EndpointRecord } from '../../decisions/forwarding/types.js';
+import type { GatewayEffect } from '../effects.js';
+import { toIncarnation } from '../statements/incarnations.js';
+
+/** What an order to stop a run has come to. */
+export type StopStep =
+  | RunStopPhase
+  | 'ordered'
+  /** The engine has stopped the run and handed over its memory. */
+  | 'stopped'
+  /** The engine does not have the request any more. */
+  | 'ended'
+  /** Nothing listens at the address of the engine. */
+  | 'refused'
+  /** The stream goes on before the engine has confirmed the order. */
+  | 'withdrawn'
+  /** The engine may not work on the request any more, since its deadline has passed. */
+  | 'expired'
+  /** The request fails, since its engine can be reached and does not confirm the order. */
+  | 'given-up';
+
+/** Number of times that the delay before an order to an engine that nobody reaches is doubled. */
+const MAX_DOUBLINGS = 5;
+
+/**
+ * Describes a step of an order to stop a run.
+ *
+ * @param stop - order
+ * @param step - what it has come to
+ * @param context - inputs
+ * @param message - answer of the engine, if it says nothing of the run
+ * @returns a log line
+ */
+export const describeStop = (
+  stop: RunStop,
+  step: StopStep,
+  { inputs }: RequestsContext,
+  message = '',
+): GatewayEffect => ({
+  kind: 'log',
+  name: 'run-stop',
+  details: {
+    requestId: stop.requestId,
+    endpoint: stop.endpoint.id,
+    entity: stop.route,
+    data: {
+      attempt: stop.attempt,
+      step,
+      target: stop.target?.id ?? '',
+      events: stop.events,
+      orders: stop.orders,
+      waitedMs: Math.round(inputs.clock.now() - stop.since),
+      message,
+    },
+  },
+});
+
+const countStep = (stop: RunStop, step: StopStep): GatewayEffect => ({
+  kind: 'count',
+  name: 'gateway_run_stops_total',
+  labels: { route: stop.route, step },
+});
+
+/**
+ * Describes and counts a step of an order to stop a run.
+ *
+ * @param stop - order
+ * @param step - what it has come to
+ * @param context - inputs
+ * @param message - answer of the engine, if it says nothing of the run
+ * @returns a log line and a count
+ */
+export const recordStep = (
+  stop: RunStop,
+  step: StopStep,
+  context: RequestsContext,
+  message = '',
+): Effects => [describeStop(stop, step, context, message), countStep(stop, step)];
+
+/**
+ * Finds the order to stop the run of an attempt.
+ *
+ * @param key - key of the request
+ * @param attempt - number of the attempt
+ * @param context - state
+ * @returns the order, or null without one
+ */
+export const findStop = (
+  key: number,
+  attempt: number,
+  { state }: RequestsContext,
+): RunStop | null => state.runStops.get(key)?.get(attempt) ?? null;
+
+/**
+ * Lists the orders to stop runs of a request.
+ *
+ * @param key - key of the request
+ * @param context - state
+ * @returns the orders
+ */
+export const listStops = (key: number, { state }: RequestsContext): readonly RunStop[] => [
+  ...(state.runStops.get(key)?.values() ?? []),
+];
+
+/**
+ * Adds an order to those that are repeated.
+ *
+ * @param stop - order
+ * @param context - state that is changed
+ */
+export const addStop = (stop: RunStop, { state }: RequestsContext): void => {
+  const stops = state.runStops.get(stop.key) ?? new Map<number, RunStop>();
+  stops.set(stop.attempt, stop);
+  state.runStops.set(stop.key, stops);
+};
+
+/**
+ * Ends the repetition of an order.
+ *
+ * @param stop - order
+ * @param context - state that is changed
+ */
+export const removeStop = ({ attempt, key }: RunStop, { state }: RequestsContext): void => {
+  const stops = state.runStops.get(key);
+  stops?.delete(attempt);
+  if (stops?.size === 0) state.runStops.delete(key);
+};
+
+/**
+ * Chooses the endpoint that gets the memory of a run that stops. The order has to name one: without
+ * room there, the run stops all the same.
+ */
+const chooseStopTarget = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): EndpointRecord | null =>
+  chooseTransferTarget(forwarding, attempt, context) ??
+  attempt.backup ??
+  listCandidates(forwarding, context).find(({ record }) => record.id !== attempt.endpoint.id)
+    ?.record ??
+  null;
+
+/**
+ * Creates an order to stop the run of an attempt.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is given up
+ * @param context - state and inputs
+ * @returns the order, which has not been given
+ */
+export const createStop = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): RunStop => {
+  const now = context.inputs.clock.now();
+  return {
+    key: forwarding.request.key,
+    requestId: forwarding.request.id,
+    route: forwarding.route.name,
+    attempt: attempt.number,
+    endpoint: attempt.endpoint,
+    events: attempt.events,
+    openedAt: attempt.startedAt,
+    since: now,
+    endsAt: forwarding.deadlineAt,
+    target: chooseStopTarget(forwarding, attempt, context),
+    phase: 'unconfirmed',
+    order: 'answered',
+    orders: 0,
+    misses: 0,
+    askedAt: now,
+    checks: 0,
+  };
+};
+
+const findOtherEndpoint = (
+  { endpoint }: RunStop,
+  { inputs }: RequestsContext,
+): EndpointRecord | null =>
+  inputs.listEndpoints(endpoint.service).find(({ record }) => record.id !== endpoint.id)?.record ??
+  null;
+
+/**
+ * Gives an order to stop a run.
+ *
+ * @param stop - order
+ * @param context - state and inputs
+ * @returns the order to the engine; none while no other endpoint can be named as the target
+ */
+export const orderStop = (stop: RunStop, context: RequestsContext): Effects => {
+  stop.target ??= findOtherEndpoint(stop, context);
+  const { attempt, endpoint, key, requestId, target } = stop;
+  if (target === null) {
+    // The request can go on nowhere else, either.
+    stop.phase = 'unreachable';
+    return [];
+  }
+  stop.order = 'pending';
+  stop.orders += 1;
+  const source = toIncarnation(endpoint);
+  const order = {
+    requestId,
+    source: source.address,
+    target: target.address,
+    mode: 'stop',
+  } as const;
+  return [{ kind: 'stop-run', key, attempt, source, order }];
+};
+
+/**
+ * Asks an engine what it runs.
+ *
+ * @param stop - order to stop one of its runs
+ * @param context - inputs
+ * @returns the question
+ */
+export const checkReport = (stop: RunStop, { inputs }: RequestsContext): Effects => {
+  stop.askedAt = inputs.clock.now();
+  const { attempt, endpoint, key, requestId } = stop;
+  return [{ kind: 'check-run', key, attempt, requestId, endpoint: toIncarnation(endpoint) }];
+};
+
+/**
+ * Schedules the next check of an order; earlier ones count no more.
+ *
+ * @param stop - order
+ * @param delayMs - time until the check
+ * @returns the timer
+ */
+export const scheduleCheck = (stop: RunStop, delayMs: Millis): GatewayEffect => {
+  stop.checks += 1;
+  const { attempt, checks: check, key } = stop;
+  return {
+    kind: 'schedule',
+    delayMs,
+    event: { to: 'requests', kind: 'run-stop-due', key, attempt, check },
+  };
+};
+
+/**
+ * Computes the delay before an order that was answered is given again.
+ *
+ * @param stop - order
+ * @returns the delay
+ */
+export const computeOrderDelay = ({ misses, phase }: RunStop): Millis => {
+  switch (phase) {
+    case 'unconfirmed':
+      return RUN_STOP_RETRY_MS;
+    case 'not-running':
+      return RUN_STOP_WATCH_MS;
+    case 'unreachable':
+      return RUN_STOP_WATCH_MS * 2 ** Math.min(misses, MAX_DOUBLINGS);
+    default:
+      return assertNever(phase);
+  }
+};
+
+/**
+ * Reports whether what an engine reports now is of a time at which it had the request. An older report
+ * does not list it, either.
+ *
+ * @param stop - order to stop the run of the request
+ * @param context - inputs
+ * @returns false soon after the request was sent
+ */
+export const isReportRecent = ({ openedAt }: RunStop, { inputs }: RequestsContext): boolean =>
+  inputs.clock.now() - openedAt >= MAX_REPORT_AGE_MS;
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -189,6 +189,7 @@
       return transfer.phase === 'copying'
         ? retryTransfer(run, transfer, 'not-running', context)
         : endFinishedTransfer(run, transfer, context);
+    case 'refused':
     case 'unreachable':
     case 'failed':
       return failTransfer(run, transfer, result.message, context);
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -125,18 +125,45 @@
   readonly waiting: WaitingRequest;
 }
 
+/** What the answers of an engine say about a run that was given up. */
+export type RunStopPhase =
+  /** The engine may be working on it. */
+  | 'unconfirmed'
+  /** The engine does not work on it now. It may do so later: the run may be queued there, or preempted. */
+  | 'not-running'
+  /** No connection to the engine was established. */
+  | 'unreachable';
+
 /**
- * A run that its engine may go on with although the attempt was given up, and that the engine has been
- * ordered to stop. Only `runStops.ts` updates it, in place.
+ * Order to stop a run that its engine may go on with although the attempt was given up. It is repeated
+ * until the end of the run is proved, also after the end of the request. Only `runStops.ts`,
+ * `stopOrders.ts` and `stopAnswers.ts` update it, in place.
  */
 export interface RunStop {
-  readonly attempt: Attempt;
+  readonly key: number;
+  readonly requestId: string;
+  readonly route: string;
+  /** Number of the attempt. */
+  readonly attempt: number;
+  readonly endpoint: EndpointRecord;
+  /** Number of events that the attempt had received. */
+  readonly events: number;
+  /** Instant at which the attempt was opened. */
+  readonly openedAt: Millis;
   /** Instant at which the attempt was given up. */
   readonly since: Millis;
-  /** Endpoint that gets the memory of the run. */
-  target: EndpointRecord;
-  /** Whether the order has no answer yet, or one that does not say that the run has ended. */
-  order: 'pending' | 'unconfirmed';
+  /** Deadline of the request, at which each engine stops working on it. */
+  readonly endsAt: Millis;
+  /** Endpoint that gets the memory of the run; null while there is none. */
+  target: EndpointRecord | null;
+  phase: RunStopPhase;
+  order: 'pending' | 'answered';
+  /** Number of times that the order was given. */
+  orders: number;
+  /** Number of orders in a row for which no connection was established. */
+  misses: number;
+  /** Instant at which the engine was asked for its report; at first that of `since`. */
+  askedAt: Millis;
   /** Number of checks that have been scheduled; only the last of them counts. */
   checks: number;
 }
@@ -158,9 +185,7 @@
   readonly configurationVersion: number;
   readonly attempts: Map<number, Attempt>;
   readonly tried: Set<EndpointId>;
-  /** Runs of attempts that were given up, by the number of the attempt, until they have stopped. */
-  readonly stops: Map<number, RunStop>;
-  /** Set while the request goes on elsewhere once the last of `stops` has ended. */
+  /** Set while the request goes on once no engine works on the runs of its earlier attempts. */
   waitsForStops: EndedAttempt | null;
   attemptsMade: number;
   /** Number of attempts that were sent. */
@@ -196,6 +221,8 @@
   /** Instant from which this state has counted requests; nothing from before it is known. */
   readonly startedAt: Millis;
   readonly inFlight: Map<number, Forwarding>;
+  /** Runs that were given up, by the key of their request and the number of the attempt. */
+  readonly runStops: Map<number, Map<number, RunStop>>;
   /** Bytes that are kept of all answers: whole ones in part, and events in part. */
   answerBytes: number;
   readonly budgets: Map<ServiceName, BudgetWindow>;
--- a/packages/gateway/types.ts
+++ b/packages/gateway/types.ts
@@ -180,6 +180,8 @@
   | { readonly kind: 'not-running' }
   /** No connection was established, so the source has not received the order. */
   | { readonly kind: 'unreachable'; readonly message: string }
+  /** Nothing listens at the address of the source: its process has ended, and its runs with it. */
+  | { readonly kind: 'refused'; readonly message: string }
   | { readonly kind: 'failed'; readonly message: string };
 
 /** Order to copy a generation to another endpoint. */
--- a/packages/platform/client/httpClient.ts
+++ b/packages/platform/client/httpClient.ts
@@ -24,11 +24,22 @@
 
 /** Error of a request without a response. */
 export type RequestError =
+  /** Nothing listens at the address of the service, so the request was not sent. */
+  | { readonly kind: 'refused'; readonly message: string }
   /** No connection was established, so the request was not sent. */
   | { readonly kind: 'not-sent'; readonly message: string }
   /** A connection was established, so the request may have taken effect. */
   | { readonly kind: 'lost'; readonly message: string };
 
+const isRefusal = (error: unknown): boolean =>
+  error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+
+const toRequestError = (error: unknown, connection: 'none' | 'established'): RequestError => {
+  const message = error instanceof Error ? error.message : String(error);
+  if (connection === 'established') return { kind: 'lost', message };
+  return { kind: isRefusal(error) ? 'refused' : 'not-sent', message };
+};
+
 /** Response with its whole body. */
 export interface HttpResponse {
   readonly status: number;
@@ -249,8 +260,7 @@
       };
       const fail = (error: unknown): void => {
         settle();
-        const message = error instanceof Error ? error.message : String(error);
-        resolve(Err({ kind: connection === 'none' ? 'not-sent' : 'lost', message }));
+        resolve(Err(toRequestError(error, connection)));
       };
       joinAnswerChunks(client, () => undefined);
       limitOverhead(
--- a/packages/platform/client/logClient.ts
+++ b/packages/platform/client/logClient.ts
@@ -43,6 +43,7 @@
   if (result.isOk()) return decodeAppendResponse(result.value);
   const { kind, message } = result.error;
   switch (kind) {
+    case 'refused':
     case 'not-sent':
       return { kind: 'rejected', message };
     case 'lost':
