--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -75,6 +75,21 @@
   return known === null ? openStop(startStop(forwarding, attempt, context), context) : [];
 };
 
+/**
+ * Orders the engine of a silent stream to stop its run, before the stream goes on elsewhere. The attempt
+ * stays open until the engine confirms it.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is silent
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const stopSilentRun = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => openStop(startStop(forwarding, attempt, context), context);
+
 /** Reports whether an engine may be working on the request for an attempt that was given up. */
 const isHeldUp = ({ request }: Forwarding, context: RequestsContext): boolean =>
   listStops(request.key, context).some(({ phase }) => phase === 'unconfirmed');
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -1,7 +1,7 @@
 import { removeAttempt } from './answerMemory.js';
 import { CONTINUATION_OVERLAP_MS, TRANSFER_RETRY_MS } from './constants.js';
 import { endAttempt } from './retrying.js';
-import { stopRun } from './runStops.js';
+import { stopRun, stopSilentRun } from './runStops.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { findStop } from './stopOrders.js';
@@ -68,7 +68,12 @@
     case 'unanswered':
     case 'unreachable':
     case undefined:
-      return continueElsewhere(forwarding, attempt, context);
+      return forwarding.service.engine?.moves === 'supported'
+        ? [
+            describeSilence(forwarding, attempt, silentMs, 'ordered'),
+            ...stopSilentRun(forwarding, attempt, context),
+          ]
+        : continueElsewhere(forwarding, attempt, context);
     default:
       return assertNever(attempt.reportedRun);
   }
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -171,3 +171,53 @@
   replyToStop(harness, order, { kind: 'refused', message: 'ECONNREFUSED' });
   t.deepEqual(findStops(harness.wait(CALLER_TIMEOUT_MS)), []);
 });
+
+// Guards against an engine that works on behind a silent connection, and whose report was late, refused or
+// did not list the run: the stream went on without an order to stop (issue 64).
+test('a silent stream goes on elsewhere once its engine has answered an order to stop', (t) => {
+  const reports: readonly (RunState | null)[] = [
+    null,
+    { kind: 'unanswered' },
+    { kind: 'unreachable' },
+    { kind: 'not-running' },
+    { kind: 'ended' },
+  ];
+  for (const path of PATHS) {
+    for (const run of reports) {
+      const name = `${path}: ${run?.kind ?? 'no report'}`;
+      const harness = createRequestsHarness();
+      const order = startStream(harness, path);
+      harness.wait(LONG_SILENCE_MS / 2);
+      if (run !== null) report(harness, order, run);
+      const silent = harness.wait(LONG_SILENCE_MS / 2);
+      t.deepEqual(findAttemptOrders(silent), [], name);
+      t.is(findStops(silent).length, 1, name);
+      const unconfirmed = replyToStop(harness, order, { kind: 'failed', message: 'status 500' });
+      t.deepEqual(findAttemptOrders(unconfirmed), [], name);
+      t.is(findStops(harness.wait(MAX_OVERLAP_MS)).length, 1, name);
+      t.is(findAttemptOrders(replyToStop(harness, order, NOT_RUNNING)).length, 1, name);
+    }
+  }
+});
+
+// Guards against a silent stream that loses the memory which its engine handed over.
+test('a silent stream goes on from the memory of its run once that has stopped', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS);
+  const stopped = replyToStop(harness, order, COPIED);
+  t.is(findEffect(stopped, 'cancel-attempt')?.attempt, order.attempt);
+  const [next] = findAttemptOrders(stopped);
+  t.deepEqual(next?.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
+  t.deepEqual(findStops(harness.wait(REPORTED_MS)), []);
+});
+
+// Guards against a stream that is stopped although it goes on by itself.
+test('a stream that goes on before the order to stop is confirmed is not ordered again', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS);
+  replyToStop(harness, order, { kind: 'failed', message: 'status 500' });
+  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(4, 5) });
+  t.deepEqual(findStops(harness.wait(MAX_OVERLAP_MS)), []);
+});
