--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -1,6 +1,5 @@
 import { continueAnswer, finishAnswer, releaseHeldStream, startAnswer } from './answering.js';
 import { removeForwarding } from './answerMemory.js';
-import { cancelAttempts } from './attempts.js';
 import { placeRequest, placeWaiting } from './placeRequest.js';
 import {
   DRAIN_ACCEPT_MS,
@@ -17,6 +16,7 @@
 import { endForDrain, expireRequest, sendHedge } from './retrying.js';
 import { checkRun, handleRunState } from './runChecks.js';
 import { sendAttempt } from './sendAttempt.js';
+import { cancelRuns } from './runStops.js';
 import { getBudget } from './sendDecisions.js';
 import { checkStall, endSilentAttempt } from './silence.js';
 import { checkStop, handleStopAnswer, handleStoppedRunState } from './stopAnswers.js';
@@ -195,7 +195,7 @@
 const cancelRequest = (forwarding: Forwarding, context: RequestsContext): Effects => {
   const { request, route } = forwarding;
   const { clock } = context.inputs;
-  const cancelled = cancelAttempts(forwarding, context);
+  const cancelled = cancelRuns(forwarding, context);
   removeForwarding(forwarding, context.state);
   return [
     ...cancelled,
--- a/packages/gateway/requests/retrying.ts
+++ b/packages/gateway/requests/retrying.ts
@@ -1,10 +1,10 @@
 import { removeAttempt } from './answerMemory.js';
 import { describeEnd, isProvablyNotRun } from './attemptEnds.js';
 import type { AttemptEnd } from './attemptEnds.js';
-import { cancelAttempts, openAttempt, planFurtherAttempt } from './attempts.js';
+import { openAttempt, planFurtherAttempt } from './attempts.js';
 import { checkRequestContent } from './content.js';
 import { failRequest } from './outcomes.js';
-import { continueAfterStops, stopRun } from './runStops.js';
+import { cancelRuns, continueAfterStops, stopRun } from './runStops.js';
 import { decideFurtherSend } from './sendDecisions.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { GatewayEffect } from '../effects.js';
@@ -71,7 +71,7 @@
 export const endForDrain = (context: RequestsContext): Effects =>
   [...context.state.inFlight.values()].flatMap((forwarding) => {
     recordPossibleRun(forwarding);
-    const cancelled = cancelAttempts(forwarding, context);
+    const cancelled = cancelRuns(forwarding, context);
     const reason = 'the daemon ends before the answer is complete';
     return [...cancelled, ...failRequest(forwarding, reason, context)];
   });
@@ -94,7 +94,7 @@
       observation: { kind: 'failed' },
     },
   }));
-  const cancelled = cancelAttempts(forwarding, context);
+  const cancelled = cancelRuns(forwarding, context);
   const reason = 'the deadline of the request has passed';
   return [
     ...observations,
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -1,5 +1,6 @@
 import { isProvablyNotRun } from './attemptEnds.js';
 import type { AttemptEnd } from './attemptEnds.js';
+import { cancelAttempts } from './attempts.js';
 import { RUN_STOP_CHECK_MS } from './constants.js';
 import { continueRequest, isContinuable } from './continuing.js';
 import {
@@ -133,3 +134,19 @@
   forwarding.waitsForStops = { attempt, end };
   return [...ordered, ...continueIfStopped(forwarding, context)];
 };
+
+/**
+ * Cancels all running attempts of a request that ends. Two engines that both work on it, as during the
+ * overlap of a silent stream, are ordered to stop: they may not heed the close of their connections.
+ *
+ * @param forwarding - request
+ * @param context - state and inputs
+ * @returns effects that close the connections, release the copies and order the engines
+ */
+export const cancelRuns = (forwarding: Forwarding, context: RequestsContext): Effects => {
+  const sent = [...forwarding.attempts.values()].filter(({ phase }) => phase !== 'connecting');
+  const end = { kind: 'silent', message: 'the request has ended' } as const;
+  const stops =
+    sent.length > 1 ? sent.flatMap((attempt) => stopRun(forwarding, attempt, end, context)) : [];
+  return [...cancelAttempts(forwarding, context), ...stops];
+};
