--- a/packages/gateway/requests/stopOrders.ts
+++ b/packages/gateway/requests/stopOrders.ts
@@ -150,6 +150,7 @@
 ): EndpointRecord | null =>
   chooseTransferTarget(forwarding, attempt, context) ??
   attempt.backup ??
+  attempt.copy?.holder ??
   listCandidates(forwarding, context).find(({ record }) => record.id !== attempt.endpoint.id)
     ?.record ??
   null;
