--- a/packages/gateway/requests/runChecks.test.ts
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -137,12 +137,8 @@
   t.is(findEffect(effects, 'cancel-attempt'), undefined);
 });
 
-// Guards against two runs of a generation at an engine that goes on and cannot be told to stop, as no
-// other engine can take the memory.
-test('a run that cannot be stopped is not continued elsewhere after the time of an outage', (t) => {
-  const harness = createRequestsHarness();
-  harness.setRetries('spent');
-  const order = startStream(harness);
+/** Leaves no engine that takes requests but the one of a stream; its backup can still be used. */
+const removeOthers = (harness: RequestsHarness, order: AttemptOrder): void => {
   const backup = harness.endpoints.find(({ address }) => address === order.head.backup);
   const others = harness.endpoints.filter(
     ({ id, service }) => service === backup?.service && id !== order.head.endpointId,
@@ -154,6 +150,15 @@
     );
     harness.holders.set(id, { kind: 'known', leavingAt: null, dataCentreOutAt: null });
   }
+};
+
+// Guards against two runs of a generation at an engine that goes on and cannot be told to stop, as no
+// other engine can take the memory.
+test('a run that cannot be stopped is not continued elsewhere after the time of an outage', (t) => {
+  const harness = createRequestsHarness();
+  harness.setRetries('spent');
+  const order = startStream(harness);
+  removeOthers(harness, order);
   const getRun = createAdvancingRun();
   const inTime = waitSilently(harness, OUTAGE_MS, getRun);
   t.is(findEffect(inTime, 'start-transfer'), undefined);
@@ -161,6 +166,17 @@
   t.deepEqual(findAttemptOrders(waitSilently(harness, OUTAGE_MS * 2, getRun)), []);
 });
 
+// Guards against the same while a continuation is still permitted: it began before the order to stop.
+test('a run for which no engine has room is ordered to stop before its stream goes on', (t) => {
+  const harness = createRequestsHarness();
+  harness.setStopResult('pending');
+  const order = startStream(harness);
+  removeOthers(harness, order);
+  const effects = waitSilently(harness, OUTAGE_MS, createAdvancingRun());
+  t.deepEqual(findEffect(effects, 'stop-run')?.source, toSource(order));
+  t.deepEqual(findAttemptOrders(effects), []);
+});
+
 // Guards against a stream that is lost with an engine that cannot be reached.
 test('a stream goes on elsewhere when its engine does not answer', (t) => {
   const harness = createRequestsHarness();
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -6,7 +6,7 @@
 } from './constants.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { findStop } from './stopOrders.js';
-import { continueElsewhere } from './streamContinuations.js';
+import { stopAndContinue } from './streamContinuations.js';
 import { transferAtOnce } from './transferStarts.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
@@ -158,7 +158,7 @@
 ): RunCheckDecision => {
   const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
   if (attempt.events === 0 || !isUnverifiedContinuationAllowed(silentMs, context)) return WAIT;
-  return { response: 'continued', effects: continueElsewhere(forwarding, attempt, context) };
+  return { response: 'continued', effects: stopAndContinue(forwarding, attempt, context) };
 };
 
 const decideResponse = (
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -1,11 +1,11 @@
 import { removeAttempt } from './answerMemory.js';
 import { CONTINUATION_OVERLAP_MS, TRANSFER_RETRY_MS } from './constants.js';
 import { endAttempt } from './retrying.js';
-import { stopRun, stopSilentRun } from './runStops.js';
+import { stopRun } from './runStops.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import { findStop } from './stopOrders.js';
-import { continueElsewhere, describeSilence } from './streamContinuations.js';
+import { describeSilence, stopAndContinue } from './streamContinuations.js';
 import { isWithinNotice, waitForTransfer } from './transferTurns.js';
 import { transferAtOnce } from './transferStarts.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
@@ -68,12 +68,7 @@
     case 'unanswered':
     case 'unreachable':
     case undefined:
-      return forwarding.service.engine?.moves === 'supported'
-        ? [
-            describeSilence(forwarding, attempt, silentMs, 'ordered'),
-            ...stopSilentRun(forwarding, attempt, context),
-          ]
-        : continueElsewhere(forwarding, attempt, context);
+      return stopAndContinue(forwarding, attempt, context);
     default:
       return assertNever(attempt.reportedRun);
   }
--- a/packages/gateway/requests/streamContinuations.ts
+++ b/packages/gateway/requests/streamContinuations.ts
@@ -2,7 +2,8 @@
 import type { AttemptPlan } from './attempts.js';
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
-import { decideFurtherSend } from './sendDecisions.js';
+import { stopSilentRun } from './runStops.js';
+import { checkRetries, decideFurtherSend } from './sendDecisions.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { GatewayEffect } from '../effects.js';
@@ -101,3 +102,29 @@
   const opened = openContinuation(forwarding, plan, decision.permit, context);
   return [...effects, describe('continued'), ...opened];
 };
+
+/**
+ * Orders the engine of a silent stream to stop, after which the stream goes on elsewhere. An engine that
+ * takes no such order is left at once.
+ *
+ * @param forwarding - request
+ * @param attempt - attempt that is silent
+ * @param context - state and inputs
+ * @returns effects
+ */
+export const stopAndContinue = (
+  forwarding: Forwarding,
+  attempt: Attempt,
+  context: RequestsContext,
+): Effects => {
+  if (forwarding.service.engine?.moves !== 'supported')
+    return continueElsewhere(forwarding, attempt, context);
+  const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
+  // A run that is stopped and cannot go on would be lost.
+  if (checkRetries(forwarding, context) === 'spent')
+    return [describeSilence(forwarding, attempt, silentMs, 'budget-spent')];
+  return [
+    describeSilence(forwarding, attempt, silentMs, 'ordered'),
+    ...stopSilentRun(forwarding, attempt, context),
+  ];
+};
