--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -20,7 +20,7 @@
 import { getBudget } from './sendDecisions.js';
 import { checkStall, endSilentAttempt } from './silence.js';
 import { checkStop, handleStopAnswer, handleStoppedRunState } from './stopAnswers.js';
-import { findStop } from './stopOrders.js';
+import { findStop } from './stopState.js';
 import type {
   Attempt,
   Effects,
--- a/packages/gateway/requests/runChecks.ts
+++ b/packages/gateway/requests/runChecks.ts
@@ -5,7 +5,7 @@
   UNVERIFIED_CONTINUATION_MARGIN_MS,
 } from './constants.js';
 import { computeStallTimeout } from './stallTimeout.js';
-import { findStop } from './stopOrders.js';
+import { findStop } from './stopState.js';
 import { stopAndContinue } from './streamContinuations.js';
 import { transferAtOnce } from './transferStarts.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -3,16 +3,8 @@
 import { cancelAttempts } from './attempts.js';
 import { RUN_STOP_CHECK_MS } from './constants.js';
 import { continueRequest, isContinuable } from './continuing.js';
-import {
-  addStop,
-  createStop,
-  recordStep,
-  findStop,
-  removeStop,
-  listStops,
-  orderStop,
-  scheduleCheck,
-} from './stopOrders.js';
+import { createStop, orderStop, recordStep, scheduleCheck } from './stopOrders.js';
+import { addStop, findStop, listStops, removeStop } from './stopState.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, RunStop } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 
--- a/packages/gateway/requests/silence.ts
+++ b/packages/gateway/requests/silence.ts
@@ -4,7 +4,7 @@
 import { stopRun } from './runStops.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { computeStallTimeout } from './stallTimeout.js';
-import { findStop } from './stopOrders.js';
+import { findStop } from './stopState.js';
 import { describeSilence, stopAndContinue } from './streamContinuations.js';
 import { isWithinNotice, waitForTransfer } from './transferTurns.js';
 import { transferAtOnce } from './transferStarts.js';
--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -7,14 +7,13 @@
 import {
   checkReport,
   computeOrderDelay,
-  findStop,
-  removeStop,
   isReportRecent,
   orderStop,
   recordStep,
   scheduleCheck,
 } from './stopOrders.js';
 import type { StopStep } from './stopOrders.js';
+import { findStop, removeStop } from './stopState.js';
 import { continueElsewhere } from './streamContinuations.js';
 import type {
   Attempt,
--- a/packages/gateway/requests/stopOrders.ts
+++ b/packages/gateway/requests/stopOrders.ts
@@ -90,55 +90,6 @@
   message = '',
 ): Effects => [describeStop(stop, step, context, message), countStep(stop, step)];
 
-/**
- * Finds the order to stop the run of an attempt.
- *
- * @param key - key of the request
- * @param attempt - number of the attempt
- * @param context - state
- * @returns the order, or null without one
- */
-export const findStop = (
-  key: number,
-  attempt: number,
-  { state }: RequestsContext,
-): RunStop | null => state.runStops.get(key)?.get(attempt) ?? null;
-
-/**
- * Lists the orders to stop runs of a request.
- *
- * @param key - key of the request
- * @param context - state
- * @returns the orders
- */
-export const listStops = (key: number, { state }: RequestsContext): readonly RunStop[] => [
-  ...(state.runStops.get(key)?.values() ?? []),
-];
-
-/**
- * Adds an order to those that are repeated.
- *
- * @param stop - order
- * @param context - state that is changed
- */
-export const addStop = (stop: RunStop, { state }: RequestsContext): void => {
-  const stops = state.runStops.get(stop.key) ?? new Map<number, RunStop>();
-  stops.set(stop.attempt, stop);
-  state.runStops.set(stop.key, stops);
-};
-
-/**
- * Ends the repetition of an order.
- *
- * @param stop - order
- * @param context - state that is changed
- */
-export const removeStop = ({ attempt, key }: RunStop, { state }: RequestsContext): void => {
-  const stops = state.runStops.get(key);
-  stops?.delete(attempt);
-  if (stops?.size === 0) state.runStops.delete(key);
-};
-
 /**
  * Chooses the endpoint that gets the memory of a run that stops. The order has to name one: without
  * room there, the run stops all the same.
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -158,6 +158,18 @@
   }
 });
 
+// Guards against an order that stops the new run of a request, which went on at the same engine.
+test('an engine that gets the request again is not ordered to stop it', (t) => {
+  const harness = createRequestsHarness();
+  const order = startStream(harness, '/summary/1');
+  endConnection(harness, order);
+  const others = harness.endpoints.filter(({ id }) => id !== order.head.endpointId);
+  for (const other of others) harness.endpoints.splice(harness.endpoints.indexOf(other), 1);
+  const [again] = findAttemptOrders(replyToStop(harness, order, NOT_RUNNING));
+  t.is(again?.head.endpointId, order.head.endpointId);
+  t.deepEqual(findStops(harness.wait(REPORTED_MS)), []);
+});
+
 // Guards against an engine that takes long to accept a connection and works on beside the continuation,
 // and against orders without end to an engine that has gone.
 test('an engine without a connection is ordered to stop until one is refused', (t) => {
