--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -14,6 +14,7 @@
 import { endAttempt } from './retrying.js';
 import { countRun } from './runCounting.js';
 import { describeHeld, endOverlap, isHeldForContinuation } from './silence.js';
+import { removeStopOf } from './stopState.js';
 import { findMissingPart } from './streamEnd.js';
 import { checkStreamEnd } from './transfers.js';
 import type { AttemptEnd } from './attemptEnds.js';
@@ -293,6 +294,7 @@
   }
   if (isEndUnproven(attempt)) return probeEnd(forwarding, attempt, context);
   removeAttempt(forwarding, attempt, context.state);
+  removeStopOf(forwarding.request.key, attempt.number, context);
   const others = [...releaseCopy(attempt), ...cancelAttempts(forwarding, context)];
   return [
     observeAnswer(attempt, context),
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -116,6 +116,7 @@
     start: plan.copy === null ? 'anew' : 'from-copy',
     backup,
     phase: 'connecting',
+    sentAt: now,
     head: null,
     body: createByteBlocks(),
     splitter: createEventSplitter(),
--- a/packages/gateway/requests/constants.ts
+++ b/packages/gateway/requests/constants.ts
@@ -63,8 +63,14 @@
  */
 export const RUN_STOP_WATCH_MS = 200;
 
-/** Age of what an engine reports, at the most: it reports its state of some hundred milliseconds ago. */
-export const MAX_REPORT_AGE_MS = 1_000;
+/** Delay of the same when the request has ended: no other engine works on it any more. */
+export const RUN_STOP_IDLE_MS = 2_000;
+
+/**
+ * Age of what an engine reports, at the most: it reports its state of some hundred milliseconds ago, and
+ * the call itself may take 500 ms.
+ */
+export const MAX_REPORT_AGE_MS = 1_500;
 
 /** Size limit of a whole answer, which is buffered until it is complete. */
 export const MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -227,11 +227,12 @@
   { kind: 'transfer-ended' | 'run-stop-answered' | 'run-stop-due' }
 >;
 
-/** What an engine says about a run that is to stop, whose attempt or request may have ended. */
+/** What an engine says about a run that is to stop; null if its attempt is open or the run has stopped. */
 const handleRunCheck = (
   { attempt, key, run }: Extract<RequestsEvent, { kind: 'run-checked' }>,
   context: RequestsContext,
 ): Effects | null => {
+  if (context.state.inFlight.get(key)?.attempts.has(attempt) === true) return null;
   const stop = findStop(key, attempt, context);
   return stop === null ? null : handleStoppedRunState(stop, run, context);
 };
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -123,13 +123,13 @@
   // Nothing runs beside an engine that works on without a caller.
   if (!mayContinue) return continueRequest(forwarding, attempt, end, context);
   const ordered = stopRun(forwarding, attempt, end, context);
-  forwarding.waitsForStops = { attempt, end };
+  forwarding.waitsForStops = { attempt, end, since: context.inputs.clock.now() };
   return [...ordered, ...continueIfStopped(forwarding, context)];
 };
 
 /**
- * Cancels all running attempts of a request that ends. Two engines that both work on it, as during the
- * overlap of a silent stream, are ordered to stop: they may not heed the close of their connections.
+ * Cancels all running attempts of a request that ends. If two engines may have it, as during the overlap
+ * of a silent stream, they are ordered to stop: they may not heed the close of their connections.
  *
  * @param forwarding - request
  * @param context - state and inputs
@@ -138,7 +138,10 @@
 export const cancelRuns = (forwarding: Forwarding, context: RequestsContext): Effects => {
   const sent = [...forwarding.attempts.values()].filter(({ phase }) => phase !== 'connecting');
   const end = { kind: 'silent', message: 'the request has ended' } as const;
+  const held = listStops(forwarding.request.key, context);
   const stops =
-    sent.length > 1 ? sent.flatMap((attempt) => stopRun(forwarding, attempt, end, context)) : [];
+    sent.length + held.length > 1
+      ? sent.flatMap((attempt) => stopRun(forwarding, attempt, end, context))
+      : [];
   return [...cancelAttempts(forwarding, context), ...stops];
 };
--- a/packages/gateway/requests/sendAttempt.ts
+++ b/packages/gateway/requests/sendAttempt.ts
@@ -69,6 +69,7 @@
     return cancelUnsent(forwarding, attempt, context);
   // From here on the endpoint may run the request, whatever else waits in the event queue.
   attempt.phase = 'sent';
+  attempt.sentAt = now;
   forwarding.sends += 1;
   return [
     {
--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -2,7 +2,7 @@
 import { listCopies } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
 import { endAttempt } from './retrying.js';
-import { continueIfStopped } from './runStops.js';
+import { cancelRuns, continueIfStopped } from './runStops.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import {
   checkReport,
@@ -25,6 +25,7 @@
   TransferredCopy,
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
+import type { Millis } from '../../core/clock.js';
 import type { EndpointIncarnation } from '../../decisions/forwarding/types.js';
 import type { RequestsEvent } from '../events.js';
 import { toIncarnation } from '../statements/incarnations.js';
@@ -120,7 +121,7 @@
   if (open !== null) return [...recorded, ...continueSilent(stop, open, context)];
   return [
     ...recorded,
-    scheduleCheck(stop, computeOrderDelay(stop)),
+    scheduleCheck(stop, computeOrderDelay(stop, context)),
     ...continueStopped(stop, context),
   ];
 };
@@ -130,12 +131,19 @@
   stop.order = 'answered';
   return [
     ...recordStep(stop, 'unconfirmed', context, message),
-    scheduleCheck(stop, computeOrderDelay(stop)),
+    scheduleCheck(stop, computeOrderDelay(stop, context)),
   ];
 };
 
+const recordContact = (stop: RunStop, { kind }: TransferResult): void => {
+  if (kind === 'unreachable') return;
+  stop.contact = 'answered';
+  stop.misses = 0;
+};
+
 const applyResult = (stop: RunStop, result: TransferResult, context: RequestsContext): Effects => {
   const { endpoint, target } = stop;
+  recordContact(stop, result);
   switch (result.kind) {
     case 'copied': {
       const copy = { holder: target ?? endpoint, handle: result.handle };
@@ -149,13 +157,15 @@
       return [...storeMemory(stop, copy, context), ...endStop(stop, 'stopped', context)];
     }
     case 'not-running':
-      stop.misses = 0;
       return holdStop(stop, 'not-running', context);
     case 'refused':
       return endStop(stop, 'refused', context);
     case 'unreachable':
       stop.misses += 1;
-      return holdStop(stop, 'unreachable', context);
+      // One connection that fails does not show that nobody reaches an engine which has just answered.
+      return stop.contact === 'answered' && stop.misses === 1
+        ? waitForConfirmation(stop, result.message, context)
+        : holdStop(stop, 'unreachable', context);
     case 'failed':
       return waitForConfirmation(stop, result.message, context);
     default:
@@ -179,13 +189,29 @@
   return result.kind === 'copied' ? releaseMemory(source, result.handle) : [];
 };
 
+/** Returns the instant from which a request waits for the answer to an order; null if it does not wait. */
+const findWaitStart = (
+  stop: RunStop,
+  { waitsForStops }: Forwarding,
+  context: RequestsContext,
+): Millis | null => {
+  if (findOpenAttempt(stop, context) !== null) return stop.since;
+  return waitsForStops === null ? null : Math.max(stop.since, waitsForStops.since);
+};
+
 /** Fails a request that has waited too long: its engine can be reached and may work on it. */
 const failUnconfirmed = (stop: RunStop, context: RequestsContext): Effects => {
   const forwarding = context.state.inFlight.get(stop.key);
-  if (forwarding?.waitsForStops == null || stop.phase !== 'unconfirmed') return [];
-  if (context.inputs.clock.now() - stop.since < computeStallTimeout(forwarding)) return [];
+  if (forwarding === undefined || stop.phase !== 'unconfirmed') return [];
+  const waitsFrom = findWaitStart(stop, forwarding, context);
+  if (waitsFrom === null) return [];
+  if (context.inputs.clock.now() - waitsFrom < computeStallTimeout(forwarding)) return [];
   const reason = 'the endpoint did not confirm that it has stopped the run';
-  return [...recordStep(stop, 'given-up', context), ...failRequest(forwarding, reason, context)];
+  return [
+    ...recordStep(stop, 'given-up', context),
+    ...cancelRuns(forwarding, context),
+    ...failRequest(forwarding, reason, context),
+  ];
 };
 
 /** Reports whether a silent stream has gone on, so that its run is not to be stopped any more. */
@@ -199,8 +225,11 @@
   return recordStep(stop, 'withdrawn', context);
 };
 
-const isReportDue = ({ askedAt, phase }: RunStop, { inputs }: RequestsContext): boolean =>
-  phase !== 'unreachable' && inputs.clock.now() - askedAt >= RUN_STOP_CHECK_MS;
+/** The run of an open attempt is asked for by `runChecks.ts`. */
+const isReportDue = (stop: RunStop, context: RequestsContext): boolean =>
+  stop.phase !== 'unreachable' &&
+  findOpenAttempt(stop, context) === null &&
+  context.inputs.clock.now() - stop.askedAt >= RUN_STOP_CHECK_MS;
 
 /**
  * Checks on a run whose end has not been proved: orders its stop again, and asks the engine what it runs,
--- a/packages/gateway/requests/stopOrders.ts
+++ b/packages/gateway/requests/stopOrders.ts
@@ -1,5 +1,10 @@
 import { chooseTransferTarget } from './attempts.js';
-import { MAX_REPORT_AGE_MS, RUN_STOP_RETRY_MS, RUN_STOP_WATCH_MS } from './constants.js';
+import {
+  MAX_REPORT_AGE_MS,
+  RUN_STOP_IDLE_MS,
+  RUN_STOP_RETRY_MS,
+  RUN_STOP_WATCH_MS,
+} from './constants.js';
 import { listCandidates } from './placementInputs.js';
 import type {
   Attempt,
@@ -127,13 +132,14 @@
     attempt: attempt.number,
     endpoint: attempt.endpoint,
     events: attempt.events,
-    openedAt: attempt.startedAt,
+    sentAt: attempt.sentAt,
     since: now,
     endsAt: forwarding.deadlineAt,
     target: chooseStopTarget(forwarding, attempt, context),
     phase: 'unconfirmed',
     order: 'answered',
     orders: 0,
+    contact: 'none',
     misses: 0,
     askedAt: now,
     checks: 0,
@@ -208,16 +214,21 @@
  * Computes the delay before an order that was answered is given again.
  *
  * @param stop - order
- * @returns the delay
+ * @param context - state
+ * @returns the delay, a longer one after the end of the request
  */
-export const computeOrderDelay = ({ misses, phase }: RunStop): Millis => {
+export const computeOrderDelay = (
+  { key, misses, phase }: RunStop,
+  { state }: RequestsContext,
+): Millis => {
+  if (!state.inFlight.has(key)) return RUN_STOP_IDLE_MS;
   switch (phase) {
     case 'unconfirmed':
       return RUN_STOP_RETRY_MS;
     case 'not-running':
       return RUN_STOP_WATCH_MS;
     case 'unreachable':
-      return RUN_STOP_WATCH_MS * 2 ** Math.min(misses, MAX_DOUBLINGS);
+      return RUN_STOP_WATCH_MS * 2 ** Math.min(Math.max(0, misses - 1), MAX_DOUBLINGS);
     default:
       return assertNever(phase);
   }
@@ -231,5 +242,5 @@
  * @param context - inputs
  * @returns false soon after the request was sent
  */
-export const isReportRecent = ({ openedAt }: RunStop, { inputs }: RequestsContext): boolean =>
-  inputs.clock.now() - openedAt >= MAX_REPORT_AGE_MS;
+export const isReportRecent = ({ sentAt }: RunStop, { inputs }: RequestsContext): boolean =>
+  inputs.clock.now() - sentAt >= MAX_REPORT_AGE_MS;
--- a/packages/gateway/requests/stopState.ts
+++ b/packages/gateway/requests/stopState.ts
@@ -66,3 +66,15 @@
   for (const stop of listStops(key, context))
     if (stop.endpoint.id === endpoint) removeStop(stop, context);
 };
+
+/**
+ * Ends the repetition of the order to stop a run whose answer has arrived whole.
+ *
+ * @param key - key of the request
+ * @param attempt - number of the attempt
+ * @param context - state that is changed
+ */
+export const removeStopOf = (key: number, attempt: number, context: RequestsContext): void => {
+  const stop = findStop(key, attempt, context);
+  if (stop !== null) removeStop(stop, context);
+};
--- a/packages/gateway/requests/streamContinuations.ts
+++ b/packages/gateway/requests/streamContinuations.ts
@@ -121,6 +121,8 @@
     return continueElsewhere(forwarding, attempt, context);
   const silentMs = context.inputs.clock.now() - attempt.lastEventAt;
   // A run that is stopped and cannot go on would be lost.
+  if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined')
+    return [describeSilence(forwarding, attempt, silentMs, 'no-endpoint')];
   if (checkRetries(forwarding, context) === 'spent')
     return [describeSilence(forwarding, attempt, silentMs, 'budget-spent')];
   return [
--- a/packages/gateway/requests/transferStarts.ts
+++ b/packages/gateway/requests/transferStarts.ts
@@ -8,6 +8,7 @@
 import { computeTransferPriority } from './load.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import { decideFurtherSend } from './sendDecisions.js';
+import { findStop } from './stopState.js';
 import { buildTransfer } from './transferOrders.js';
 import { describeTransfer, isTransferNeeded, scheduleNextTransfer } from './transferTurns.js';
 import type { RunningGeneration } from './transferTurns.js';
@@ -133,6 +134,8 @@
     ({ attempt, forwarding }) =>
       attempt.transfer?.phase === 'waiting' &&
       attempt.transfer.dueAt <= now &&
+      // Its engine is ordered to stop it, and answers a second order with a failure.
+      findStop(forwarding.request.key, attempt.number, context) === null &&
       // A continuation under way takes over or ends first; a transfer beside it would be a third run.
       forwarding.attempts.size === 1,
   );
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -3,6 +3,7 @@
 import { MAX_TRANSFER_TRIES, TRANSFER_RETRY_MS } from './constants.js';
 import { finishStream } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { removeStopOf } from './stopState.js';
 import { findMissingPart } from './streamEnd.js';
 import { orderTransfer } from './transferStarts.js';
 import { releaseCopy } from './generationCopy.js';
@@ -147,6 +148,7 @@
     return failTransfer(run, transfer, 'not-running', context);
   }
   removeAttempt(forwarding, attempt, context.state);
+  removeStopOf(forwarding.request.key, attempt.number, context);
   return [
     describeTransfer(run, 'finished', transfer.target),
     ...cancelTransfer(run, transfer),
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -77,6 +77,8 @@
    */
   backup: EndpointRecord | null;
   phase: AttemptPhase;
+  /** Instant at which the request was sent; that of the start before. */
+  sentAt: Millis;
   head: AnswerHead | null;
   /** Whole answer, as far as it has been received; of a stream, what is held (`releaseHeldStream`). */
   readonly body: ByteBlocks;
@@ -148,8 +150,8 @@
   readonly endpoint: EndpointRecord;
   /** Number of events that the attempt had received. */
   readonly events: number;
-  /** Instant at which the attempt was opened. */
-  readonly openedAt: Millis;
+  /** Instant at which the request was sent. */
+  readonly sentAt: Millis;
   /** Instant at which the attempt was given up. */
   readonly since: Millis;
   /** Deadline of the request, at which each engine stops working on it. */
@@ -160,6 +162,8 @@
   order: 'pending' | 'answered';
   /** Number of times that the order was given. */
   orders: number;
+  /** Whether the engine has answered an order. */
+  contact: 'none' | 'answered';
   /** Number of orders in a row for which no connection was established. */
   misses: number;
   /** Instant at which the engine was asked for its report; at first that of `since`. */
@@ -172,6 +176,8 @@
 export interface EndedAttempt {
   readonly attempt: Attempt;
   readonly end: AttemptEnd;
+  /** Instant at which the attempt ended. */
+  readonly since: Millis;
 }
 
 /** One request in flight; only the requests child updates it, in place. */
