--- a/packages/gateway/requests/quarantine.test.ts
+++ b/packages/gateway/requests/quarantine.test.ts
@@ -1,15 +1,14 @@
 import test from 'ava';
 import {
-  buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
   getOrder,
-  SIGNED_HEAD,
   toEvent,
 } from './requests.fixture.js';
 import { CORRELATED_CRASH_MS } from '../../decisions/quarantine/constants.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { connectAttempt, sendEvents, startAnswer } from './streams.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
 
 const send = (harness: RequestsHarness, path: string, body: string, document = 'deadly') =>
@@ -18,11 +17,6 @@
     promptParts: ['shared', document, body],
   });
 
-const startAnswer = (harness: RequestsHarness, order: AttemptOrder): void => {
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-};
-
 const failConnection = (harness: RequestsHarness, order: AttemptOrder) => {
   const failure = { kind: 'broken', message: 'aborted' } as const;
   return harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
@@ -61,7 +55,7 @@
   const harness = createRequestsHarness();
   const sound = getOrder(send(harness, '/memo/1', 'sound', 'other'));
   startAnswer(harness, sound);
-  harness.post({ ...toEvent(sound), kind: 'answer-continued', bytes: buildEvents(1, 2) });
+  sendEvents(harness, sound, 1, 2);
   sendCrashing(harness, '/memo/1', 'first');
   sendCrashing(harness, '/memo/1', 'second');
   t.is(findAttemptOrders(send(harness, '/memo/1', 'third', 'other')).length, 1);
@@ -80,7 +74,7 @@
 test('a waiting request is cancelled when its content is quarantined', (t) => {
   const harness = createRequestsHarness();
   const waiting = getOrder(send(harness, '/memo/1', 'waiting'));
-  harness.post({ ...toEvent(waiting), kind: 'attempt-connected' });
+  connectAttempt(harness, waiting);
   sendCrashing(harness, '/memo/1', 'first');
   const effects = sendCrashing(harness, '/memo/1', 'second');
   const cancelled = effects.filter(({ kind }) => kind === 'cancel-attempt');
@@ -132,8 +126,7 @@
   harness.setProbeResult('refused');
   const order = getOrder(send(harness, path, body, body));
   startAnswer(harness, order);
-  const bytes = buildEvents(1, events);
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes });
+  sendEvents(harness, order, 1, events);
   const effects = failConnection(harness, order);
   harness.setProbeResult('reachable');
   harness.wait(CORRELATED_CRASH_MS);
@@ -167,7 +160,7 @@
   harness.setProbeResult('refused');
   for (let round = 0; round < 3; round += 1) {
     const order = getOrder(harness.sendRequest('/sweep/1'));
-    harness.post({ ...toEvent(order), kind: 'attempt-connected' });
+    connectAttempt(harness, order);
     failConnection(harness, order);
     harness.wait(CORRELATED_CRASH_MS);
     const used = harness.endpoints.findIndex(({ id }) => id === order.head.endpointId);
@@ -180,7 +173,7 @@
 
 /** Loses the connection of a request that its endpoint has not begun to answer. */
 const failWaiting = (harness: RequestsHarness, order: AttemptOrder): readonly GatewayEffect[] => {
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
+  connectAttempt(harness, order);
   return failConnection(harness, order);
 };
 
--- a/packages/gateway/requests/requests.test.ts
+++ b/packages/gateway/requests/requests.test.ts
@@ -9,6 +9,13 @@
   toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import {
+  connectAttempt,
+  LONG_SILENCE_MS,
+  REFUSED,
+  sendEvents,
+  startAnswer,
+} from './streams.fixture.js';
 import {
   DEMAND,
   ENGINE_SERVICE,
@@ -19,19 +26,6 @@
 import type { AttemptFailure } from '../events.js';
 import type { AnswerHead } from '../types.js';
 
-const reportSent = (harness: RequestsHarness, order: AttemptOrder): void => {
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-};
-
-const startAnswer = (
-  harness: RequestsHarness,
-  order: AttemptOrder,
-  head: AnswerHead = SIGNED_HEAD,
-) => {
-  reportSent(harness, order);
-  return harness.post({ ...toEvent(order), kind: 'answer-started', head });
-};
-
 const sendAnswer = (
   harness: RequestsHarness,
   order: AttemptOrder,
@@ -49,19 +43,13 @@
   kind: AttemptFailure['kind'] = 'broken',
 ) => harness.post({ ...toEvent(order), kind: 'attempt-failed', failure: { kind, message: kind } });
 
-const REFUSED: AnswerHead = {
-  ...SIGNED_HEAD,
-  status: 503,
-  signature: 'unsigned',
-  proof: 'not-run',
-};
 const FAILED: AnswerHead = { ...SIGNED_HEAD, status: 500 };
 
 // Guards against a non-idempotent call that runs twice because its connection broke.
 test('a non-idempotent call that may have run is not retried', (t) => {
   const harness = createRequestsHarness();
   const order = getOrder(harness.sendRequest('/sweep/1'));
-  reportSent(harness, order);
+  connectAttempt(harness, order);
   const effects = failAttempt(harness, order);
   t.deepEqual(findAttemptOrders(effects), []);
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'may-have-run');
@@ -86,7 +74,7 @@
 test('refusals after a broken attempt give the verdict that the request may have run', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  reportSent(harness, first);
+  connectAttempt(harness, first);
   let effects = failAttempt(harness, first);
   for (let round = 0; round < 5 && findAttemptOrders(effects).length > 0; round += 1) {
     effects = startAnswer(harness, getOrder(effects), REFUSED);
@@ -128,7 +116,7 @@
 test('an idempotent call without an answer is hedged, and the first answer wins', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  reportSent(harness, first);
+  connectAttempt(harness, first);
   const second = getOrder(harness.wait(110));
   const effects = sendAnswer(harness, second, SIGNED_HEAD, 'fast');
   t.is(findEffect(effects, 'cancel-attempt')?.attempt, first.attempt);
@@ -141,7 +129,7 @@
 test('a call stays at its endpoint when there is none for a hedge', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  reportSent(harness, first);
+  connectAttempt(harness, first);
   const all = harness.endpoints.splice(0, harness.endpoints.length);
   t.is(findEffect(harness.wait(100), 'refuse'), undefined);
   harness.endpoints.push(...all.filter(({ id }) => id === first.head.endpointId));
@@ -152,7 +140,7 @@
 // Guards against hedging a call that must run at most once.
 test('a non-idempotent call is not hedged', (t) => {
   const harness = createRequestsHarness();
-  reportSent(harness, getOrder(harness.sendRequest('/sweep/1')));
+  connectAttempt(harness, getOrder(harness.sendRequest('/sweep/1')));
   t.deepEqual(findAttemptOrders(harness.wait(400)), []);
 });
 
@@ -160,7 +148,7 @@
 test('a request ends at the timeout of its route', (t) => {
   const harness = createRequestsHarness();
   const order = getOrder(harness.sendRequest('/sweep/1'));
-  reportSent(harness, order);
+  connectAttempt(harness, order);
   const effects = harness.wait(600);
   t.is(findEffect(effects, 'refuse')?.failure.code, 'deadline-exceeded');
   t.truthy(findEffect(effects, 'cancel-attempt'));
@@ -204,11 +192,7 @@
   t.deepEqual(second.head.copy, { kind: 'backup', holder: second.address });
   t.deepEqual(second.address, first.head.backup);
   startAnswer(harness, second);
-  const rest = harness.post({
-    ...toEvent(second),
-    kind: 'answer-continued',
-    bytes: buildEvents(4, 5),
-  });
+  const rest = sendEvents(harness, second, 4, 5);
   t.is(findEffect(rest, 'start-answer'), undefined);
   t.deepEqual(findEffect(rest, 'write-answer')?.bytes, Buffer.from(buildEvents(4, 5)));
   const ended = harness.post({ ...toEvent(second), kind: 'answer-ended' });
@@ -221,7 +205,7 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+  sendEvents(harness, first, 1, 3);
   const second = getOrder(failAttempt(harness, first));
   const effects = startAnswer(harness, second, REFUSED);
   t.deepEqual(findAttemptOrders(effects), []);
@@ -233,7 +217,7 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+  sendEvents(harness, first, 1, 3);
   harness.endpoints.splice(0, harness.endpoints.length);
   const effects = failAttempt(harness, first);
   t.truthy(findEffect(effects, 'break-answer'));
@@ -245,7 +229,7 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 2) });
+  sendEvents(harness, first, 1, 2);
   const second = getOrder(failAttempt(harness, first));
   t.is(second.head.lastEventId, '2');
   t.is(second.head.copy, null);
@@ -257,8 +241,8 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/memo/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-  const second = getOrder(harness.wait(3_700));
+  sendEvents(harness, first, 1, 3);
+  const second = getOrder(harness.wait(LONG_SILENCE_MS));
   t.is(second.head.lastEventId, '3');
   startAnswer(harness, second);
   t.is(findEffect(harness.wait(400), 'cancel-attempt')?.attempt, first.attempt);
@@ -279,8 +263,8 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-  const second = getOrder(harness.wait(3_700));
+  sendEvents(harness, first, 1, 3);
+  const second = getOrder(harness.wait(LONG_SILENCE_MS));
   t.is(second.head.lastEventId, '3');
   t.not(second.head.endpointId, first.head.endpointId);
 });
@@ -375,11 +359,11 @@
 test('the requests that are left at the end of a drain are answered', (t) => {
   const harness = createRequestsHarness();
   const sent = getOrder(harness.sendRequest('/sweep/1'));
-  reportSent(harness, sent);
+  connectAttempt(harness, sent);
   const connecting = getOrder(harness.sendRequest('/sweep/2'));
   const begun = getOrder(harness.sendRequest('/memo/1'));
   startAnswer(harness, begun);
-  harness.post({ ...toEvent(begun), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+  sendEvents(harness, begun, 1, 3);
   const effects = harness.post({ to: 'requests', kind: 'drain-ended' });
   const refusals = effects.flatMap((effect) =>
     effect.kind === 'refuse' ? [[effect.key, effect.failure.verdict]] : [],
@@ -414,7 +398,7 @@
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
   startAnswer(harness, first);
-  harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 2) });
+  sendEvents(harness, first, 1, 2);
   const second = getOrder(failAttempt(harness, first));
   startAnswer(harness, second, { ...SIGNED_HEAD, framing: 'until-close' });
   const effects = harness.post({ ...toEvent(second), kind: 'answer-ended' });
@@ -467,7 +451,7 @@
 test('a request that may have run is not refused as not run when no endpoint is left', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  reportSent(harness, first);
+  connectAttempt(harness, first);
   harness.endpoints.splice(0, harness.endpoints.length);
   const effects = [...failAttempt(harness, first), ...harness.wait(300)];
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'may-have-run');
@@ -487,7 +471,7 @@
     const harness = createRequestsHarness();
     const first = getOrder(harness.sendRequest('/summary/1'));
     startAnswer(harness, first);
-    harness.post({ ...toEvent(first), kind: 'answer-continued', bytes: buildEvents(1, 3) });
+    sendEvents(harness, first, 1, 3);
     const second = getOrder(failAttempt(harness, first));
     let effects = sendAnswer(harness, second, head, '{"error":"no model"}\n\n');
     const later = [...effects];
@@ -528,9 +512,9 @@
   const order = getOrder(harness.sendRequest('/sweep/1'));
   const effects = harness.post({ to: 'requests', kind: 'deadline-reached', key: order.key });
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'not-run');
-  t.deepEqual(harness.post({ ...toEvent(order), kind: 'attempt-connected' }), []);
+  t.deepEqual(connectAttempt(harness, order), []);
   const second = getOrder(harness.sendRequest('/sweep/2'));
-  const connected = harness.post({ ...toEvent(second), kind: 'attempt-connected' });
+  const connected = connectAttempt(harness, second);
   t.is(findEffect(connected, 'send-attempt')?.key, second.key);
   const late = harness.post({ to: 'requests', kind: 'deadline-reached', key: second.key });
   t.is(findEffect(late, 'refuse')?.failure.verdict, 'may-have-run');
--- a/packages/gateway/requests/runChecks.test.ts
+++ b/packages/gateway/requests/runChecks.test.ts
@@ -1,14 +1,12 @@
 import test from 'ava';
 import {
-  buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
-  SIGNED_HEAD,
-  toEvent,
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { createStopsHarness, endStep, PATHS, sendEvents, startStream } from './streams.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { RunState } from '../types.js';
 
@@ -17,18 +15,6 @@
 
 const STEP_MS = 10;
 
-const sendEvents = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) =>
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(from, to) });
-
-const startStream = (harness: RequestsHarness, path = '/memo/1'): AttemptOrder => {
-  const [order] = findAttemptOrders(harness.sendRequest(path));
-  if (order === undefined) throw new Error('no attempt was opened');
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-  sendEvents(harness, order, 1, 3);
-  return order;
-};
-
 /** Lets the stream be silent, while each question about its run gets the next answer. */
 const waitSilently = (
   harness: RequestsHarness,
@@ -59,7 +45,7 @@
 // Guards against a generation that two engines run, as the close of a silent connection does not reach
 // the first one (review/2).
 test('an engine that runs on behind a silent connection is told to stop first', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     const harness = createRequestsHarness();
     const order = startStream(harness, path);
     const effects = waitSilently(harness, OUTAGE_MS, createAdvancingRun());
@@ -67,12 +53,7 @@
     t.is(transfer?.kind === 'start-transfer' ? transfer.order.mode : '', 'stop');
     t.true((transfer?.atMs ?? Infinity) < OUTAGE_MS, 'the order fits into the time of an outage');
     t.deepEqual(findAttemptOrders(effects), []);
-    const resumed = harness.post({
-      ...toEvent(order),
-      kind: 'transfer-ended',
-      source: toSource(order),
-      result: { kind: 'copied', handle: 'h-1', events: 60 },
-    });
+    const resumed = endStep(harness, order, { kind: 'copied', handle: 'h-1', events: 60 });
     t.is(findEffect(resumed, 'cancel-attempt')?.attempt, order.attempt);
     const [continuation] = findAttemptOrders(resumed);
     t.like(continuation?.head, { lastEventId: '3', copy: { kind: 'transfer', handle: 'h-1' } });
@@ -83,22 +64,17 @@
 // to stop it was lost like the connection before it.
 test('the order to stop a run is repeated after a failure', (t) => {
   const harness = createRequestsHarness();
-  const order = startStream(harness);
+  const order = startStream(harness, '/memo/1');
   const getRun = createAdvancingRun();
   waitSilently(harness, OUTAGE_MS, getRun);
-  harness.post({
-    ...toEvent(order),
-    kind: 'transfer-ended',
-    source: toSource(order),
-    result: { kind: 'failed', message: 'the response timed out' },
-  });
+  endStep(harness, order, { kind: 'failed', message: 'the response timed out' });
   t.truthy(findEffect(waitSilently(harness, OUTAGE_MS, getRun), 'start-transfer'));
 });
 
 // Guards against a move of a sound stream whose engine is silent for a second or so.
 test('a stream whose run does not advance stays until it has stalled', (t) => {
   const harness = createRequestsHarness();
-  const order = startStream(harness);
+  const order = startStream(harness, '/memo/1');
   const effects = waitSilently(harness, OUTAGE_MS, () => ({ kind: 'running', events: 3 }));
   t.truthy(findEffect(effects, 'check-run'));
   t.is(findEffect(effects, 'start-transfer'), undefined);
@@ -110,7 +86,7 @@
 // behind a silent connection.
 test('an event that arrives makes earlier answers about the run irrelevant', (t) => {
   const harness = createRequestsHarness();
-  const order = startStream(harness);
+  const order = startStream(harness, '/memo/1');
   waitSilently(harness, 1_300, () => ({ kind: 'running', events: 3 }));
   sendEvents(harness, order, 4, 5);
   const effects = waitSilently(harness, 1_300, () => ({ kind: 'running', events: 5 }));
@@ -122,14 +98,14 @@
 // on elsewhere while the disruption of its connection excuses that, and not later.
 test('without a statement about the run a stream goes on elsewhere in time or not at all', (t) => {
   const inTime = createRequestsHarness();
-  startStream(inTime);
+  startStream(inTime, '/memo/1');
   const continued = waitSilently(inTime, OUTAGE_MS, () => ({ kind: 'not-stated' }));
   const opened = continued.find((effect) => effect.kind === 'open-attempt');
   t.true((opened?.atMs ?? Infinity) < OUTAGE_MS);
 
   const late = createRequestsHarness();
   late.setRetries('spent');
-  startStream(late);
+  startStream(late, '/memo/1');
   waitSilently(late, OUTAGE_MS, () => ({ kind: 'not-stated' }));
   late.setRetries('available');
   const effects = waitSilently(late, OUTAGE_MS * 3, () => ({ kind: 'not-stated' }));
@@ -157,7 +133,7 @@
 test('a run that cannot be stopped is not continued elsewhere after the time of an outage', (t) => {
   const harness = createRequestsHarness();
   harness.setRetries('spent');
-  const order = startStream(harness);
+  const order = startStream(harness, '/memo/1');
   removeOthers(harness, order);
   const getRun = createAdvancingRun();
   const inTime = waitSilently(harness, OUTAGE_MS, getRun);
@@ -168,9 +144,8 @@
 
 // Guards against the same while a continuation is still permitted: it began before the order to stop.
 test('a run for which no engine has room is ordered to stop before its stream goes on', (t) => {
-  const harness = createRequestsHarness();
-  harness.setStopResult('pending');
-  const order = startStream(harness);
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
   removeOthers(harness, order);
   const effects = waitSilently(harness, OUTAGE_MS, createAdvancingRun());
   t.deepEqual(findEffect(effects, 'stop-run')?.source, toSource(order));
@@ -180,7 +155,7 @@
 // Guards against a stream that is lost with an engine that cannot be reached.
 test('a stream goes on elsewhere when its engine does not answer', (t) => {
   const harness = createRequestsHarness();
-  startStream(harness);
+  startStream(harness, '/memo/1');
   const effects = waitSilently(harness, OUTAGE_MS * 2, () => ({ kind: 'unreachable' }));
   t.is(findAttemptOrders(effects).length, 1);
 });
--- a/packages/gateway/requests/silence.test.ts
+++ b/packages/gateway/requests/silence.test.ts
@@ -10,58 +10,38 @@
   toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import {
+  connectAttempt,
+  LATE_TIMER_MS,
+  LONG_SILENCE_MS,
+  MAX_OVERLAP_MS,
+  PATHS,
+  REFUSED,
+  resetConnection,
+  sendEvents,
+  startAnswer,
+  startStream,
+} from './streams.fixture.js';
 import { MEMO_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { EndpointRecord } from '../../decisions/forwarding/types.js';
-import type { AnswerHead } from '../types.js';
 
 /** Silence of a sound endpoint, which is no reason to end an answer. */
 const SHORT_SILENCE_MS = 1_500;
 
-/** Silence after which a stream is continued at another endpoint. */
-const LONG_SILENCE_MS = 3_700;
-
-/** Time by which a timer of a busy daemon is late. */
-const LATE_TIMER_MS = 150;
-
 /** Time for the way to an endpoint, its refusal and the way back. */
 const REFUSAL_MS = 50;
 
 /** Time from the opening of a continuation until the end of `LONG_SILENCE_MS`. */
 const SINCE_OPENED_MS = LONG_SILENCE_MS - MEMO_ROUTE.targetMs * STALL_TARGET_FACTOR;
 
-/** Time for which two endpoints may work on the same generation. */
-const MAX_OVERLAP_MS = 400;
-
-const REFUSED: AnswerHead = {
-  ...SIGNED_HEAD,
-  status: 503,
-  signature: 'unsigned',
-  proof: 'not-run',
-};
-
-const startAnswer = (harness: RequestsHarness, order: AttemptOrder, head = SIGNED_HEAD) => {
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  return harness.post({ ...toEvent(order), kind: 'answer-started', head });
-};
-
-const sendEvents = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) =>
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(from, to) });
-
-const startStream = (harness: RequestsHarness, path: string): AttemptOrder => {
-  const order = getOrder(harness.sendRequest(path));
-  startAnswer(harness, order);
-  sendEvents(harness, order, 1, 3);
-  return order;
-};
-
 const findWritten = (effects: readonly GatewayEffect[]) =>
   findEffect(effects, 'write-answer')?.bytes;
 
 // Guards against a stream that is taken from a sound endpoint because it fell silent for a second or
 // so: the next endpoint may refuse it, and the caller's connection would be closed.
 test('a stream stays at an endpoint that falls silent for a second or so', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     const harness = createRequestsHarness();
     const order = startStream(harness, path);
     const silent = harness.wait(SHORT_SILENCE_MS);
@@ -74,7 +54,7 @@
 // Guards against a lost stream when the endpoint that should continue it refuses, although the
 // silent one goes on.
 test('a stream stays at its silent endpoint when the continuation is refused', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     const harness = createRequestsHarness();
     const order = startStream(harness, path);
     const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
@@ -90,7 +70,7 @@
 
 // Guards against a lost stream when no endpoint can continue it, although the silent one goes on.
 test('a stream stays at its silent endpoint when no other can continue it', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     const harness = createRequestsHarness();
     const order = startStream(harness, path);
     harness.endpoints.splice(
@@ -118,7 +98,7 @@
 
 // Guards against two endpoints that work on one generation for longer than the users allow.
 test('the silent endpoint is cancelled soon after its stream is continued', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     const harness = createRequestsHarness();
     const order = startStream(harness, path);
     const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
@@ -137,7 +117,7 @@
   const harness = createRequestsHarness();
   startStream(harness, '/memo/1');
   const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
-  const sent = harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  const sent = connectAttempt(harness, continuation);
   const overlapMs = sent.flatMap((effect) =>
     effect.kind === 'schedule' && effect.event.kind === 'overlap-ended' ? [effect.delayMs] : [],
   );
@@ -168,8 +148,7 @@
 test('a continuation that waits for its first event is not replaced', (t) => {
   const harness = createRequestsHarness();
   const order = startStream(harness, '/memo/1');
-  const failure = { kind: 'broken', message: 'reset' } as const;
-  const broken = harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
+  const broken = resetConnection(harness, order);
   const continuation = getOrder(broken);
   startAnswer(harness, continuation);
   const waited = harness.wait(LONG_SILENCE_MS * 2);
@@ -216,7 +195,7 @@
   const harness = createRequestsHarness();
   const { continuation, noticed, order } = startLeavingStream(harness, '/memo/1');
   t.is(findEffect(noticed, 'start-transfer'), undefined);
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  connectAttempt(harness, continuation);
   const held = sendEvents(harness, order, 4, 4);
   t.is(findEffect(held, 'cancel-attempt'), undefined);
   const effects = harness.wait(MAX_OVERLAP_MS);
@@ -229,16 +208,15 @@
 // it made during its silence: they ended the continuation, which had used the only copy (planned soak,
 // seeds 26303, 32212, 36106 and 36123).
 test('a stream whose leaving endpoint breaks off after its silence is continued', (t) => {
-  for (const path of ['/memo/1', '/summary/1']) {
+  for (const path of PATHS) {
     for (const head of ['before', 'after'] as const) {
       const harness = createRequestsHarness();
       const { continuation, order } = startLeavingStream(harness, path);
       if (head === 'before') startAnswer(harness, continuation);
-      else harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+      else connectAttempt(harness, continuation);
       const held = sendEvents(harness, order, 4, 6);
       t.is(findEffect(held, 'cancel-attempt'), undefined);
-      const failure = { kind: 'broken', message: 'reset' } as const;
-      const broken = harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
+      const broken = resetConnection(harness, order);
       t.is(findEffect(broken, 'break-answer'), undefined);
       if (head === 'after') startAnswer(harness, continuation);
       t.is(continuation.head.lastEventId, '3');
@@ -259,7 +237,7 @@
     harness.wait(1_000);
     postNotice(harness, order);
     const continuation = getOrder(harness.wait(LONG_SILENCE_MS - 1_000));
-    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    connectAttempt(harness, continuation);
     if (events === 'held') sendEvents(harness, order, 4, 6);
     const effects = harness.wait(MAX_OVERLAP_MS);
     t.is(findEffect(effects, 'cancel-attempt')?.attempt, order.attempt);
@@ -276,7 +254,7 @@
   for (const end of ['refused', 'whole'] as const) {
     const harness = createRequestsHarness();
     const { continuation, order } = startLeavingStream(harness, '/memo/1');
-    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    connectAttempt(harness, continuation);
     t.is(findWritten(sendEvents(harness, order, 4, 6)), undefined);
     t.is(findWritten(sendEvents(harness, order, 7, 8)), undefined);
     const effects =
@@ -293,7 +271,7 @@
 test('held events come before later ones when the notice of their endpoint is withdrawn', (t) => {
   const harness = createRequestsHarness();
   const { continuation, order } = startLeavingStream(harness, '/memo/1');
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  connectAttempt(harness, continuation);
   t.is(findWritten(sendEvents(harness, order, 4, 5)), undefined);
   const stays = { kind: 'known', leavingAt: null, dataCentreOutAt: null } as const;
   harness.holders.set(order.head.endpointId, stays);
@@ -305,7 +283,7 @@
 test('a stream is not transferred beside its continuation', (t) => {
   const harness = createRequestsHarness();
   const { continuation, order } = startLeavingStream(harness, '/memo/1');
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  connectAttempt(harness, continuation);
   const backup = harness.endpoints.findIndex(({ id }) => id === continuation.head.endpointId);
   harness.endpoints[backup] = {
     ...(harness.endpoints[backup] as EndpointRecord),
@@ -350,9 +328,8 @@
   harness.setProbeResult('pending');
   const order = startStream(harness, '/memo/1');
   const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
-  const failure = { kind: 'broken', message: 'reset' } as const;
-  harness.post({ ...toEvent(order), kind: 'attempt-failed', failure });
+  connectAttempt(harness, continuation);
+  resetConnection(harness, order);
   t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
   harness.post({ ...toEvent(order), kind: 'endpoint-probed', result: 'refused' });
   harness.post({ ...toEvent(continuation), kind: 'answer-started', head: SIGNED_HEAD });
@@ -415,8 +392,7 @@
   const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
   startAnswer(harness, continuation, REFUSED);
   sendEvents(harness, order, 4, 4);
-  const failure = { kind: 'broken', message: 'reset' } as const;
-  const resumed = getOrder(harness.post({ ...toEvent(order), kind: 'attempt-failed', failure }));
+  const resumed = getOrder(resetConnection(harness, order));
   t.deepEqual(resumed.address, continuation.address);
 });
 
@@ -428,7 +404,7 @@
     const order = startStream(harness, '/memo/1');
     const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
     harness.wait(connectMs - SINCE_OPENED_MS);
-    harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+    connectAttempt(harness, continuation);
     t.is(findEffect(harness.wait(REFUSAL_MS), 'cancel-attempt'), undefined);
     harness.post({ ...toEvent(continuation), kind: 'answer-started', head: REFUSED });
     t.is(findEffect(harness.wait(MAX_OVERLAP_MS), 'cancel-attempt'), undefined);
@@ -442,7 +418,7 @@
   const harness = createRequestsHarness();
   const order = startStream(harness, '/memo/1');
   const continuation = getOrder(harness.wait(LONG_SILENCE_MS));
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  connectAttempt(harness, continuation);
   const cancelled = harness
     .wait(MAX_OVERLAP_MS)
     .flatMap((effect) => (effect.kind === 'cancel-attempt' ? [effect.attempt] : []));
--- a/packages/gateway/requests/silenceOrders.test.ts
+++ b/packages/gateway/requests/silenceOrders.test.ts
@@ -2,10 +2,10 @@
 import fc from 'fast-check';
 import { createRequestsHarness, findAttemptOrders, SIGNED_HEAD } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { LONG_SILENCE_MS, MAX_OVERLAP_MS, PATHS, REFUSED, RESET } from './streams.fixture.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { RequestsEvent } from '../events.js';
-import type { AnswerHead } from '../types.js';
 
 /** Number of events of each stream. */
 const EVENT_COUNT = 8;
@@ -13,12 +13,6 @@
 /** Events before the silence of the first endpoint. */
 const EVENTS_BEFORE = 3;
 
-/** Silence after which a stream is continued at another endpoint. */
-const SILENCE_MS = 3_700;
-
-/** Time for which two endpoints may work on the same generation. */
-const MAX_OVERLAP_MS = 400;
-
 /** Time from the start of a stream after which its endpoint gets a notice that passes meanwhile. */
 const EARLY_NOTICE_MS = 1_000;
 
@@ -27,13 +21,6 @@
 
 const RUNS = 2_000;
 
-const REFUSED: AnswerHead = {
-  ...SIGNED_HEAD,
-  status: 503,
-  signature: 'unsigned',
-  proof: 'not-run',
-};
-
 /** One thing that an endpoint does; `events` states the ids of the first and the last one. */
 type Step =
   | { readonly kind: 'connect' | 'accept' | 'refuse' | 'unreachable' | 'reset' | 'end' }
@@ -100,10 +87,8 @@
       const failure = { kind: 'unreachable', message: 'refused' } as const;
       return { ...base, kind: 'attempt-failed', failure };
     }
-    case 'reset': {
-      const failure = { kind: 'broken', message: 'reset' } as const;
-      return { ...base, kind: 'attempt-failed', failure };
-    }
+    case 'reset':
+      return { ...base, kind: 'attempt-failed', failure: RESET };
     case 'end':
       return { ...base, kind: 'answer-ended' };
     case 'events': {
@@ -187,9 +172,9 @@
   };
   wait(EARLY_NOTICE_MS);
   if (played.notice === 'passed') giveNotice();
-  wait(SILENCE_MS / 2 - EARLY_NOTICE_MS);
+  wait(LONG_SILENCE_MS / 2 - EARLY_NOTICE_MS);
   if (played.notice === 'before') giveNotice();
-  wait(SILENCE_MS / 2);
+  wait(LONG_SILENCE_MS / 2);
   const continuation = [...opened.values()].find(({ attempt }) => attempt !== first.attempt);
   if (continuation === undefined) throw new Error('the stream was not continued');
   if (played.notice === 'between') giveNotice();
@@ -223,7 +208,7 @@
 };
 
 const CASE: fc.Arbitrary<Case> = fc.record({
-  path: fc.constantFrom('/memo/1', '/summary/1'),
+  path: fc.constantFrom(...PATHS),
   notice: fc.constantFrom('none', 'passed', 'before', 'between'),
   first: fc.constantFrom(...(Object.keys(FIRST_SCRIPTS) as Case['first'][])),
   continuation: fc.constantFrom(...(Object.keys(CONTINUATION_SCRIPTS) as Case['continuation'][])),
--- a/packages/gateway/requests/statedLeaving.test.ts
+++ b/packages/gateway/requests/statedLeaving.test.ts
@@ -1,15 +1,14 @@
 import test from 'ava';
 import {
-  buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
   getOrder,
   RESUMPTION_LIMITS,
-  SIGNED_HEAD,
   toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { connectAttempt, REFUSED, resetConnection, startEvents } from './streams.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
 import type { AttemptOrder } from '../effects.js';
 
@@ -24,29 +23,6 @@
   for (const id of ids) harness.statements.set(id, { ...NO_STATEMENTS, leavingAt });
 };
 
-const connect = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-
-const startStream = (harness: RequestsHarness, order: AttemptOrder): void => {
-  connect(harness, order);
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-};
-
-const failAttempt = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'attempt-failed',
-    failure: { kind: 'broken', message: 'reset' },
-  });
-
-const REFUSED = {
-  ...SIGNED_HEAD,
-  status: 503,
-  signature: 'unsigned',
-  proof: 'not-run',
-} as const;
-
 // The tests below guard each against one way in which a request reaches an endpoint that has said in an
 // answer that it leaves, while its registration reads ready (DRAIN, issue 42).
 
@@ -69,7 +45,7 @@
 test('a request is not retried at an endpoint that said that it leaves', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  connect(harness, first);
+  connectAttempt(harness, first);
   const [other = ''] = LEDGERS.filter((id) => id !== getEndpoint(first));
   recordLeaving(
     harness,
@@ -82,7 +58,7 @@
 test('a request is not hedged at an endpoint that said that it leaves', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  connect(harness, first);
+  connectAttempt(harness, first);
   recordLeaving(
     harness,
     LEDGERS.filter((id) => id !== getEndpoint(first)),
@@ -93,13 +69,13 @@
 test('a stream is not continued at an endpoint that said that it leaves', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
-  startStream(harness, first);
+  startEvents(harness, first);
   const [other = ''] = ENGINES.filter((id) => id !== getEndpoint(first));
   recordLeaving(
     harness,
     ENGINES.filter((id) => id !== other),
   );
-  t.is(getEndpoint(getOrder(failAttempt(harness, first))), other);
+  t.is(getEndpoint(getOrder(resetConnection(harness, first))), other);
 });
 
 test('a generation has no backup at an endpoint that said that it leaves', (t) => {
@@ -113,7 +89,7 @@
 test('a generation is transferred to no endpoint that said that it leaves', (t) => {
   const harness = createRequestsHarness();
   const others = harness.endpoints.splice(1, 2);
-  startStream(harness, getOrder(harness.sendRequest('/memo/1')));
+  startEvents(harness, getOrder(harness.sendRequest('/memo/1')));
   harness.endpoints.push(...others);
   recordLeaving(harness, ['e-1', 'e-2']);
   const leaving = { to: 'requests', kind: 'endpoint-leaving', endpoint: 'e-1' } as const;
@@ -125,10 +101,10 @@
   const resumeAfter = (delayMs: number) => {
     const harness = createRequestsHarness();
     const first = getOrder(harness.sendRequest('/memo/1'));
-    startStream(harness, first);
+    startEvents(harness, first);
     recordLeaving(harness, ENGINES);
     harness.wait(delayMs);
-    return findAttemptOrders(failAttempt(harness, first)).length;
+    return findAttemptOrders(resetConnection(harness, first)).length;
   };
   t.is(resumeAfter(0), 1);
   t.is(resumeAfter(RESUMPTION_LIMITS.leavingMs), 0);
@@ -139,7 +115,7 @@
   for (const path of ['/sweep/1', '/lookup/1']) {
     const first = getOrder(harness.sendRequest(path));
     recordLeaving(harness, [getEndpoint(first)]);
-    const effects = connect(harness, first);
+    const effects = connectAttempt(harness, first);
     t.is(findEffect(effects, 'send-attempt'), undefined);
     t.truthy(findEffect(effects, 'cancel-attempt'));
     t.is(
@@ -148,7 +124,7 @@
     );
     const next = getOrder(effects);
     t.not(getEndpoint(next), getEndpoint(first));
-    t.truthy(findEffect(connect(harness, next), 'send-attempt'));
+    t.truthy(findEffect(connectAttempt(harness, next), 'send-attempt'));
     harness.statements.clear();
   }
 });
@@ -156,10 +132,10 @@
 test('a hedge whose endpoint said that it leaves is dropped, and the request goes on', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  connect(harness, first);
+  connectAttempt(harness, first);
   const hedge = getOrder(harness.wait(100));
   recordLeaving(harness, [getEndpoint(hedge)]);
-  const effects = connect(harness, hedge);
+  const effects = connectAttempt(harness, hedge);
   t.is(findEffect(effects, 'send-attempt'), undefined);
   t.is(findEffect(effects, 'refuse'), undefined);
   t.is(harness.countOpen(), 1);
@@ -172,7 +148,7 @@
   for (let index = 0; index < 10; index += 1) {
     harness.statements.clear();
     recordLeaving(harness, [getEndpoint(order)]);
-    order = getOrder(connect(harness, order));
+    order = getOrder(connectAttempt(harness, order));
   }
-  t.truthy(findEffect(connect(harness, order), 'send-attempt'));
+  t.truthy(findEffect(connectAttempt(harness, order), 'send-attempt'));
 });
--- a/packages/gateway/requests/statedRest.test.ts
+++ b/packages/gateway/requests/statedRest.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
 import {
-  buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
@@ -9,10 +8,12 @@
   toEvent,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import { connectAttempt, REFUSED, resetConnection, startEvents } from './streams.fixture.js';
 import { addRest, REST_RETURN_MS } from '../../decisions/forwarding/rest.js';
 import { MEMO_ROUTE, SWEEP_ROUTE } from '../../decisions/forwarding/forwarding.fixture.js';
 import { NO_STATEMENTS } from '../../decisions/forwarding/statements.js';
 import type { AttemptOrder } from '../effects.js';
+import type { AnswerHead } from '../types.js';
 
 const LEDGERS = ['l-4', 'l-5', 'l-6'];
 const ENGINES = ['e-1', 'e-2', 'e-3'];
@@ -34,29 +35,7 @@
   }
 };
 
-const connect = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-
-const startStream = (harness: RequestsHarness, order: AttemptOrder): void => {
-  connect(harness, order);
-  const head = { ...SIGNED_HEAD, requestId: null };
-  harness.post({ ...toEvent(order), kind: 'answer-started', head });
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-};
-
-const failAttempt = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'attempt-failed',
-    failure: { kind: 'broken', message: 'reset' },
-  });
-
-const REFUSED = {
-  ...SIGNED_HEAD,
-  status: 503,
-  signature: 'unsigned',
-  proof: 'not-run',
-} as const;
+const UNNAMED_HEAD: AnswerHead = { ...SIGNED_HEAD, requestId: null };
 
 // The tests below guard each against one way in which a request reaches an endpoint within the time for
 // which it has asked for rest (BUDGET, issue 42).
@@ -71,7 +50,7 @@
 test('a request is not retried at a resting endpoint', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  connect(harness, first);
+  connectAttempt(harness, first);
   const [other = '', ...rest] = listOthers(LEDGERS, first);
   recordRest(harness, [getEndpoint(first), ...rest]);
   const effects = harness.post({ ...toEvent(first), kind: 'answer-started', head: REFUSED });
@@ -81,7 +60,7 @@
 test('a request is not hedged at a resting endpoint', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/lookup/1'));
-  connect(harness, first);
+  connectAttempt(harness, first);
   recordRest(harness, listOthers(LEDGERS, first));
   t.deepEqual(findAttemptOrders(harness.wait(100)), []);
 });
@@ -89,10 +68,10 @@
 test('a stream is not continued at a resting endpoint', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/summary/1'));
-  startStream(harness, first);
+  startEvents(harness, first, UNNAMED_HEAD);
   const [other = '', ...rest] = listOthers(ENGINES, first);
   recordRest(harness, [getEndpoint(first), ...rest]);
-  t.is(getEndpoint(getOrder(failAttempt(harness, first))), other);
+  t.is(getEndpoint(getOrder(resetConnection(harness, first))), other);
 });
 
 test('a generation has no backup at a resting endpoint', (t) => {
@@ -106,7 +85,7 @@
 test('a generation is transferred to no resting endpoint', (t) => {
   const harness = createRequestsHarness();
   const others = harness.endpoints.splice(1, 2);
-  startStream(harness, getOrder(harness.sendRequest('/memo/1')));
+  startEvents(harness, getOrder(harness.sendRequest('/memo/1')), UNNAMED_HEAD);
   harness.endpoints.push(...others);
   recordRest(harness, ['e-2']);
   const leavingAt = harness.getNow();
@@ -120,7 +99,7 @@
   const transfer = (backup: 'rests' | 'is willing') => {
     const harness = createRequestsHarness();
     const first = getOrder(harness.sendRequest('/memo/1'));
-    startStream(harness, first);
+    startEvents(harness, first, UNNAMED_HEAD);
     const holder = harness.endpoints.find(({ address }) => address === first.head.backup);
     if (backup === 'rests') recordRest(harness, [holder?.id ?? '']);
     const leavingAt = harness.getNow();
@@ -139,7 +118,7 @@
   harness.endpoints.splice(2, 1);
   const orders = [1, 2, 3].map(() => {
     const order = getOrder(harness.sendRequest('/memo/1'));
-    startStream(harness, order);
+    startEvents(harness, order, UNNAMED_HEAD);
     harness.wait(1);
     return order;
   });
@@ -155,16 +134,16 @@
   t.truthy(first.head.backup);
   t.deepEqual(second.head.backup, first.head.backup);
   recordRest(harness, ENGINES);
-  const resumed = getOrder(failAttempt(harness, first));
-  t.truthy(findEffect(connect(harness, resumed), 'send-attempt'));
-  t.deepEqual(findAttemptOrders(failAttempt(harness, second)), []);
+  const resumed = getOrder(resetConnection(harness, first));
+  t.truthy(findEffect(connectAttempt(harness, resumed), 'send-attempt'));
+  t.deepEqual(findAttemptOrders(resetConnection(harness, second)), []);
 });
 
 test('an attempt that was connecting when its endpoint asked for rest is not sent', (t) => {
   const harness = createRequestsHarness();
   const first = getOrder(harness.sendRequest('/sweep/1'));
   recordRest(harness, [getEndpoint(first)]);
-  const effects = connect(harness, first);
+  const effects = connectAttempt(harness, first);
   t.is(findEffect(effects, 'send-attempt'), undefined);
   t.truthy(findEffect(effects, 'cancel-attempt'));
   t.not(getEndpoint(getOrder(effects)), getEndpoint(first));
--- a/packages/gateway/requests/transfers.test.ts
+++ b/packages/gateway/requests/transfers.test.ts
@@ -10,13 +10,21 @@
   toSource,
 } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import {
+  connectAttempt,
+  COPIED,
+  endStep,
+  LONG_SILENCE_MS,
+  MAX_OVERLAP_MS,
+  REFUSED,
+  resetConnection,
+  sendEvents,
+  startAnswer,
+} from './streams.fixture.js';
 import { buildEndpoint, DEMAND } from '../../decisions/forwarding/forwarding.fixture.js';
 import type { GenerationDemand } from '../../decisions/forwarding/types.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
-import type { AnswerHead, TransferResult } from '../types.js';
-
-/** Time for which two endpoints may work on the same generation. */
-const MAX_OVERLAP_MS = 400;
+import type { AnswerHead } from '../types.js';
 
 const findTransfers = (effects: readonly GatewayEffect[]) =>
   effects.flatMap((effect) => (effect.kind === 'start-transfer' ? [effect] : []));
@@ -35,9 +43,8 @@
     const [order] = findAttemptOrders(harness.sendRequest('/memo/1', { id, demand }));
     if (order === undefined) throw new Error('no attempt was opened');
     const head = { ...SIGNED_HEAD, requestId: id, framing };
-    harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-    harness.post({ ...toEvent(order), kind: 'answer-started', head });
-    harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 9) });
+    startAnswer(harness, order, head);
+    sendEvents(harness, order, 1, 9);
     return order;
   });
   harness.endpoints.push(...others);
@@ -55,19 +62,9 @@
   ];
 };
 
-const endStep = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'transfer-ended',
-    source: toSource(order),
-    result,
-  });
-
 /** The budget of the harness permits 36 retries at once. */
 const MORE_TRIES_THAN_RETRIES = 45;
 
-const COPIED: TransferResult = { kind: 'copied', handle: 'h-1', events: 9 };
-
 // Guards against losing a generation with an engine that announced that it is leaving.
 test('a generation is copied, stopped and resumed at the target', (t) => {
   const harness = createRequestsHarness();
@@ -152,8 +149,7 @@
   harness.endpoints.splice(1, 2);
   const [order] = findAttemptOrders(harness.sendRequest('/memo/1')) as [AttemptOrder];
   const head = { ...SIGNED_HEAD, requestId: 'r-1', framing: 'until-close' } as const;
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head });
+  startAnswer(harness, order, head);
   harness.endpoints.push(buildEndpoint('e-2'));
   postLeaving(harness);
   endStep(harness, order, { ...COPIED, events: 0 });
@@ -233,8 +229,7 @@
   const effects = endStep(harness, order, { kind: 'no-room', handle: 'h-2' });
   const [back] = findAttemptOrders(effects) as [AttemptOrder];
   const head = { ...SIGNED_HEAD, requestId: 'r-0' };
-  harness.post({ ...toEvent(back), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(back), kind: 'answer-started', head });
+  startAnswer(harness, back, head);
   return back;
 };
 
@@ -260,7 +255,7 @@
   postLeaving(harness);
   endStep(harness, order, COPIED);
   const [next] = findAttemptOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
-  harness.post({ ...toEvent(next), kind: 'attempt-connected' });
+  connectAttempt(harness, next);
   const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
   const head = { ...SIGNED_HEAD, ...refusal, requestId: 'r-0' };
   const effects = harness.post({ ...toEvent(next), kind: 'answer-started', head });
@@ -358,27 +353,19 @@
   postLeaving(harness);
   endStep(harness, order, COPIED);
   endStep(harness, order, { kind: 'failed', message: 'reset' });
-  const [continuation] = findAttemptOrders(harness.wait(3_700));
+  const [continuation] = findAttemptOrders(harness.wait(LONG_SILENCE_MS));
   if (continuation === undefined) throw new Error('the stream was not continued');
-  harness.post({ ...toEvent(continuation), kind: 'attempt-connected' });
+  connectAttempt(harness, continuation);
   return { harness, order, continuation };
 };
 
-const failSource = (harness: RequestsHarness, order: AttemptOrder): readonly GatewayEffect[] =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'attempt-failed',
-    failure: { kind: 'broken', message: 'reset' },
-  });
-
 // Guards against a lost generation whose source was silent and then ended: the target refused the
 // continuation from the copy, which still exists, but counted as used since it was ordered.
 test('a copy whose use was refused is still used when the source ends', (t) => {
   const { continuation, harness, order } = continueFromCopy();
   t.deepEqual(continuation.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
-  const refusal = { ...SIGNED_HEAD, status: 503, signature: 'unsigned', proof: 'not-run' } as const;
-  harness.post({ ...toEvent(continuation), kind: 'answer-started', head: refusal });
-  const [next] = findAttemptOrders([...failSource(harness, order), ...harness.wait(50)]);
+  harness.post({ ...toEvent(continuation), kind: 'answer-started', head: REFUSED });
+  const [next] = findAttemptOrders([...resetConnection(harness, order), ...harness.wait(50)]);
   t.deepEqual(next?.address, continuation.address);
   t.deepEqual(next?.head.copy, continuation.head.copy);
 });
@@ -396,7 +383,7 @@
   const resumed = harness.wait(MAX_OVERLAP_MS);
   t.is(findEffect(resumed, 'cancel-attempt')?.attempt, continuation.attempt);
   t.deepEqual(findEffect(resumed, 'write-answer')?.bytes, Buffer.from(bytes));
-  const effects = [...failSource(harness, order), ...harness.wait(50)];
+  const effects = [...resetConnection(harness, order), ...harness.wait(50)];
   t.deepEqual(findAttemptOrders(effects), []);
   t.truthy(findEffect(effects, 'break-answer'));
 });
@@ -429,10 +416,7 @@
   const [next] = findAttemptOrders(endStep(harness, order, COPIED)) as [AttemptOrder];
   const refusal = { status: 421, signature: 'unsigned', proof: 'not-run' } as const;
   const head = { ...SIGNED_HEAD, ...refusal, requestId: 'r-0' };
-  const refuse = (refused: AttemptOrder) => {
-    harness.post({ ...toEvent(refused), kind: 'attempt-connected' });
-    return harness.post({ ...toEvent(refused), kind: 'answer-started', head });
-  };
+  const refuse = (refused: AttemptOrder) => startAnswer(harness, refused, head);
   const [back] = findAttemptOrders(refuse(next)) as [AttemptOrder];
   t.deepEqual(back.address, order.address);
   t.deepEqual(back.head.copy, { kind: 'transfer', source: order.address, handle: 'h-1' });
@@ -452,8 +436,7 @@
   const refuse = (refused: AttemptOrder, requestId: string) => {
     const refusal = { status: 503, signature: 'unsigned', proof: 'not-run' } as const;
     const head = { ...SIGNED_HEAD, ...refusal, requestId };
-    harness.post({ ...toEvent(refused), kind: 'attempt-connected' });
-    return harness.post({ ...toEvent(refused), kind: 'answer-started', head });
+    return startAnswer(harness, refused, head);
   };
   for (let index = 0; index < MORE_TRIES_THAN_RETRIES; index += 1) {
     const id = `other-${index.toString()}`;
--- a/packages/gateway/requests/tricklingStreams.test.ts
+++ b/packages/gateway/requests/tricklingStreams.test.ts
@@ -1,28 +1,17 @@
 import test from 'ava';
 import {
-  buildEvents,
   createRequestsHarness,
   findAttemptOrders,
   findEffect,
   getOrder,
-  SIGNED_HEAD,
   toEvent,
 } from './requests.fixture.js';
+import { startAnswer, startStream } from './streams.fixture.js';
 import type { AttemptOrder } from '../effects.js';
 
 const TRICKLE_MS = 200;
 const LIMIT_MS = 5_000;
 
-/** Starts a stream whose endpoint has sent three events. */
-const startStream = () => {
-  const harness = createRequestsHarness();
-  const order = getOrder(harness.sendRequest('/summary/1'));
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-  return { harness, order };
-};
-
 // Guards against a stalled stream that never ends, because its endpoint sends a byte now and then that
 // is no event (a report of another operator).
 for (const [name, pieces] of [
@@ -31,7 +20,8 @@
   ['an event that never ends', ['id: 4\n', 'data: a', 'b']],
 ] as const) {
   test(`a stream that gets ${name} and no event goes on at another endpoint`, (t) => {
-    const { harness, order } = startStream();
+    const harness = createRequestsHarness();
+    const order = startStream(harness, '/summary/1');
     const orders: AttemptOrder[] = [];
     for (let waited = 0; waited < LIMIT_MS && orders.length === 0; waited += TRICKLE_MS) {
       const piece = pieces[Math.min(pieces.length - 1, waited / TRICKLE_MS)] ?? '';
@@ -48,8 +38,7 @@
 test('a call whose answer trickles ends at its deadline', (t) => {
   const harness = createRequestsHarness();
   const order = getOrder(harness.sendRequest('/sweep/1'));
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
+  startAnswer(harness, order);
   harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: Buffer.from('a') });
   const effects = harness.post({ to: 'requests', kind: 'deadline-reached', key: order.key });
   t.is(findEffect(effects, 'refuse')?.failure.verdict, 'may-have-run');
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -1,66 +1,33 @@
 import test from 'ava';
-import {
-  buildEvents,
-  createRequestsHarness,
-  findAttemptOrders,
-  findEffect,
-  SIGNED_HEAD,
-  toEvent,
-  toSource,
-} from './requests.fixture.js';
+import { findAttemptOrders, findEffect, getOrder, toEvent, toSource } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
+import {
+  continueSilent,
+  COPIED,
+  createStopsHarness,
+  endStep,
+  findStops,
+  LATE_TIMER_MS,
+  LONG_SILENCE_MS,
+  MAX_OVERLAP_MS,
+  NOT_RUNNING,
+  PATHS,
+  replyToStop,
+  resetConnection,
+  sendEvents,
+  startAnswer,
+  startStream,
+} from './streams.fixture.js';
 import type { AttemptOrder, GatewayEffect } from '../effects.js';
 import type { RunState, TransferResult } from '../types.js';
 
-/** Time for which two engines may work on one generation. */
-const MAX_OVERLAP_MS = 400;
-
-/** Time by which a timer of a busy daemon is late. */
-const LATE_TIMER_MS = 150;
-
-/** Silence after which a stream goes on at another engine. */
-const LONG_SILENCE_MS = 3_700;
-
 /** Time in which an engine's report comes to be of a time after the close of the connection. */
 const REPORTED_MS = 2_000;
 
 const CALLER_TIMEOUT_MS = 39_000;
 
-/** A memo may not run twice and has a backup; a summary may run again after its last event. */
-const PATHS = ['/memo/1', '/summary/1'];
-
-const COPIED: TransferResult = { kind: 'copied', handle: 'h-1', events: 9 };
-const NOT_RUNNING: TransferResult = { kind: 'not-running' };
 const UNREACHABLE: TransferResult = { kind: 'unreachable', message: 'timed out' };
 
-const findStops = (effects: readonly GatewayEffect[]) =>
-  effects.flatMap((effect) => (effect.kind === 'stop-run' ? [effect] : []));
-
-const startAttempt = (harness: RequestsHarness, path: string): AttemptOrder => {
-  harness.setStopResult('pending');
-  const [order] = findAttemptOrders(harness.sendRequest(path));
-  if (order === undefined) throw new Error('no attempt was opened');
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-  return order;
-};
-
-const startStream = (harness: RequestsHarness, path: string): AttemptOrder => {
-  const order = startAttempt(harness, path);
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(1, 3) });
-  return order;
-};
-
-const endConnection = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'attempt-failed',
-    failure: { kind: 'broken', message: 'reset' },
-  });
-
-const replyToStop = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
-  harness.post({ ...toEvent(order), kind: 'run-stop-answered', source: toSource(order), result });
-
 const report = (harness: RequestsHarness, order: AttemptOrder, run: RunState) =>
   harness.post({ ...toEvent(order), kind: 'run-checked', run });
 
@@ -86,9 +53,9 @@
 // the order to stop with 404, and began it later (issue 64).
 test('a run that waits at its engine is stopped when it begins beside its continuation', (t) => {
   for (const path of PATHS) {
-    const harness = createRequestsHarness();
+    const harness = createStopsHarness();
     const order = startStream(harness, path);
-    endConnection(harness, order);
+    resetConnection(harness, order);
     t.is(findAttemptOrders(replyToStop(harness, order, NOT_RUNNING)).length, 1, path);
     const gapMs = measureOrderGap(harness, order, NOT_RUNNING, REPORTED_MS);
     t.true(gapMs + LATE_TIMER_MS <= MAX_OVERLAP_MS, `${path}: ${gapMs.toString()} ms`);
@@ -100,9 +67,10 @@
 
 // Guards against the same for a request that its engine had not begun when the connection broke.
 test('a queued request is stopped when it begins beside its second run', (t) => {
-  const harness = createRequestsHarness();
-  const order = startAttempt(harness, '/summary/1');
-  endConnection(harness, order);
+  const harness = createStopsHarness();
+  const order = getOrder(harness.sendRequest('/summary/1'));
+  startAnswer(harness, order);
+  resetConnection(harness, order);
   t.is(findAttemptOrders(replyToStop(harness, order, NOT_RUNNING)).length, 1);
   const gapMs = measureOrderGap(harness, order, NOT_RUNNING, REPORTED_MS);
   t.true(gapMs + LATE_TIMER_MS <= MAX_OVERLAP_MS, `${gapMs.toString()} ms`);
@@ -118,9 +86,9 @@
     { kind: 'unreachable' },
     { kind: 'running', events: 5 },
   ];
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const order = startStream(harness, '/memo/1');
-  endConnection(harness, order);
+  resetConnection(harness, order);
   replyToStop(harness, order, NOT_RUNNING);
   report(harness, order, { kind: 'ended' });
   t.not(findStops(harness.wait(MAX_OVERLAP_MS)).length, 0, 'older than the request');
@@ -140,9 +108,9 @@
 // waited.
 test('an order to stop outlasts its request, but not the deadline of the engine', (t) => {
   for (const end of ['left', 'failed'] as const) {
-    const harness = createRequestsHarness();
+    const harness = createStopsHarness();
     const order = startStream(harness, '/memo/1');
-    endConnection(harness, order);
+    resetConnection(harness, order);
     if (end === 'left') {
       replyToStop(harness, order, NOT_RUNNING);
       harness.post({ to: 'requests', kind: 'caller-disconnected', key: order.key });
@@ -173,9 +141,9 @@
 // Guards against an engine that takes long to accept a connection and works on beside the continuation,
 // and against orders without end to an engine that has gone.
 test('an engine without a connection is ordered to stop until one is refused', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const order = startStream(harness, '/memo/1');
-  endConnection(harness, order);
+  resetConnection(harness, order);
   t.is(findAttemptOrders(replyToStop(harness, order, UNREACHABLE)).length, 1);
   t.is(findStops(harness.wait(MAX_OVERLAP_MS)).length, 1);
   replyToStop(harness, order, UNREACHABLE);
@@ -197,7 +165,7 @@
   for (const path of PATHS) {
     for (const run of reports) {
       const name = `${path}: ${run?.kind ?? 'no report'}`;
-      const harness = createRequestsHarness();
+      const harness = createStopsHarness();
       const order = startStream(harness, path);
       harness.wait(LONG_SILENCE_MS / 2);
       if (run !== null) report(harness, order, run);
@@ -214,7 +182,7 @@
 
 // Guards against a silent stream that loses the memory which its engine handed over.
 test('a silent stream goes on from the memory of its run once that has stopped', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const order = startStream(harness, '/memo/1');
   harness.wait(LONG_SILENCE_MS);
   const stopped = replyToStop(harness, order, COPIED);
@@ -226,10 +194,111 @@
 
 // Guards against a stream that is stopped although it goes on by itself.
 test('a stream that goes on before the order to stop is confirmed is not ordered again', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const order = startStream(harness, '/memo/1');
   harness.wait(LONG_SILENCE_MS);
   replyToStop(harness, order, { kind: 'failed', message: 'status 500' });
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(4, 5) });
+  sendEvents(harness, order, 4, 5);
   t.deepEqual(findStops(harness.wait(MAX_OVERLAP_MS)), []);
 });
+
+/** Part of the overlap that passes before the request ends; shorter than the overlap. */
+const PART_OF_OVERLAP_MS = 100;
+
+/** Time after which an order to stop a run that was not confirmed is repeated; longer than that. */
+const NEXT_ORDER_MS = 150;
+
+/** Continues a silent stream at a second engine, as the first one does not run it now. */
+const startOverlap = (path: string) => {
+  const harness = createStopsHarness();
+  const first = startStream(harness, path);
+  const second = continueSilent(harness, first);
+  startAnswer(harness, second);
+  return { first, harness, second };
+};
+
+/** Ways in which a request ends while two engines may work on it. */
+const ENDS: Readonly<
+  Record<string, (harness: RequestsHarness, order: AttemptOrder) => readonly GatewayEffect[]>
+> = {
+  'the caller leaves': (harness, { key }) =>
+    harness.post({ to: 'requests', kind: 'caller-disconnected', key }),
+  'the deadline passes': (harness, { key }) =>
+    harness.post({ to: 'requests', kind: 'deadline-reached', key }),
+  'the daemon ends': (harness) => harness.post({ to: 'requests', kind: 'drain-ended' }),
+};
+
+// Guards against two engines that work on one request because it ended while both had it, and neither was
+// told more than the close of its connection.
+for (const path of PATHS) {
+  for (const [name, end] of Object.entries(ENDS)) {
+    test(`a request that ends in an overlap leaves one run at most: ${path}, ${name}`, (t) => {
+      const { harness, second } = startOverlap(path);
+      harness.wait(PART_OF_OVERLAP_MS);
+      const ended = end(harness, second);
+      t.is(harness.countOpen(), 0);
+      t.true(findStops(ended).length > 0);
+    });
+  }
+}
+
+// Guards against a first engine that works on because its order to stop was not confirmed before the request
+// ended at the second one.
+for (const [name, end] of Object.entries({
+  ...ENDS,
+  'the stream ends': (harness: RequestsHarness, order: AttemptOrder) =>
+    harness.post({ ...toEvent(order), kind: 'answer-ended' }),
+})) {
+  test(`an order to stop that was not confirmed is repeated after the request: ${name}`, (t) => {
+    const { first, harness, second } = startOverlap('/memo/1');
+    const [stop] = findStops(sendEvents(harness, second, 4, 5));
+    t.deepEqual(stop?.source, toSource(first));
+    replyToStop(harness, first, { kind: 'failed', message: 'status 409' });
+    end(harness, second);
+    t.is(harness.countOpen(), 0);
+    const [repeated] = findStops(harness.wait(NEXT_ORDER_MS));
+    t.deepEqual(repeated?.source, toSource(first));
+  });
+}
+
+/** Time in which the first transfer from a leaving endpoint starts. */
+const TRANSFER_START_MS = 25;
+
+/** Starts a generation without a backup, whose engine then leaves and has copied it, but did not stop. */
+const startCopied = () => {
+  const harness = createStopsHarness();
+  const load = { requests: 1, tokens: 5_000, waitingTokens: 0, growthTokens: 0 };
+  for (const { id } of harness.endpoints) harness.loads.set(id, load);
+  const order = startStream(harness, '/memo/1');
+  const { endpointId } = order.head;
+  const leaving = {
+    kind: 'known',
+    leavingAt: harness.getNow(),
+    dataCentreOutAt: null,
+  } as const;
+  harness.holders.set(endpointId, leaving);
+  harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint: endpointId });
+  const copy = findEffect(harness.wait(TRANSFER_START_MS), 'start-transfer');
+  endStep(harness, order, { kind: 'copied', handle: 'h-1', events: 3 });
+  endStep(harness, order, { kind: 'failed', message: 'the answer was cut' });
+  const port = copy?.order.target.port;
+  const holder = harness.endpoints.find(({ address }) => address.port === port);
+  if (holder === undefined) throw new Error('the generation was not copied');
+  harness.holders.set(holder.id, leaving);
+  return { harness, holder, order };
+};
+
+// Guards against a continuation beside a source that may work on, because the only endpoint to name in the
+// order to stop, the holder of the copy, gets no new requests.
+for (const others of ['listed', 'unlisted'] as const) {
+  test(`a source is ordered to stop before its copy is used, the others ${others}`, (t) => {
+    const { harness, holder, order } = startCopied();
+    const isListed = (id: string): boolean =>
+      others === 'listed' ? id !== holder.id : id === order.head.endpointId;
+    const kept = harness.endpoints.filter(({ id }) => isListed(id));
+    harness.endpoints.splice(0, harness.endpoints.length, ...kept);
+    const effects = resetConnection(harness, order);
+    t.deepEqual(findEffect(effects, 'stop-run')?.source, toSource(order));
+    t.deepEqual(findAttemptOrders(effects), []);
+  });
+}
