--- a/packages/gateway/requests/reviewStops.test.ts
+++ b/packages/gateway/requests/stopOrders.test.ts
@@ -1,52 +1,27 @@
 import test from 'ava';
-import {
-  buildEvents,
-  createRequestsHarness,
-  findAttemptOrders,
-  findEffect,
-  getOrder,
-  SIGNED_HEAD,
-  toEvent,
-  toSource,
-} from './requests.fixture.js';
+import { findAttemptOrders, findEffect, getOrder, toEvent } from './requests.fixture.js';
 import type { RequestsHarness } from './requests.fixture.js';
-import type { AttemptOrder, GatewayEffect } from '../effects.js';
+import {
+  createStopsHarness,
+  findStops,
+  LONG_SILENCE_MS,
+  NOT_RUNNING,
+  replyToStop,
+  resetConnection,
+  sendEvents,
+  startAnswer,
+  startStream,
+} from './streams.fixture.js';
+import type { AttemptOrder } from '../effects.js';
 import type { RunState, TransferResult } from '../types.js';
 
-const NOT_RUNNING: TransferResult = { kind: 'not-running' };
 const FAILED: TransferResult = { kind: 'failed', message: 'the answer was cut' };
-const SILENCE_MS = 3_700;
-
-const findStops = (effects: readonly GatewayEffect[]) =>
-  effects.flatMap((effect) => (effect.kind === 'stop-run' ? [effect] : []));
 
 const connect = (harness: RequestsHarness, order: AttemptOrder, from: number, to: number) => {
-  harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  harness.post({ ...toEvent(order), kind: 'answer-started', head: SIGNED_HEAD });
-  return harness.post({
-    ...toEvent(order),
-    kind: 'answer-continued',
-    bytes: buildEvents(from, to),
-  });
-};
-
-const start = (harness: RequestsHarness, path: string): AttemptOrder => {
-  harness.setStopResult('pending');
-  const order = getOrder(harness.sendRequest(path));
-  connect(harness, order, 1, 3);
-  return order;
+  startAnswer(harness, order);
+  return sendEvents(harness, order, from, to);
 };
 
-const endConnection = (harness: RequestsHarness, order: AttemptOrder) =>
-  harness.post({
-    ...toEvent(order),
-    kind: 'attempt-failed',
-    failure: { kind: 'broken', message: 'reset' },
-  });
-
-const reply = (harness: RequestsHarness, order: AttemptOrder, result: TransferResult) =>
-  harness.post({ ...toEvent(order), kind: 'run-stop-answered', source: toSource(order), result });
-
 const report = (harness: RequestsHarness, order: AttemptOrder, run: RunState) =>
   harness.post({ ...toEvent(order), kind: 'run-checked', run });
 
@@ -54,10 +29,10 @@
 // order names the request only.
 for (const path of ['/memo/1', '/summary/1']) {
   test(`an order to stop is not repeated at the engine to which the request came back, ${path}`, (t) => {
-    const harness = createRequestsHarness();
-    const first = start(harness, path);
-    endConnection(harness, first);
-    const second = getOrder(reply(harness, first, NOT_RUNNING));
+    const harness = createStopsHarness();
+    const first = startStream(harness, path);
+    resetConnection(harness, first);
+    const second = getOrder(replyToStop(harness, first, NOT_RUNNING));
     connect(harness, second, 4, 6);
     // The third engine has left, so that the first one is the only other.
     const others = harness.endpoints.filter(
@@ -65,14 +40,16 @@
         service !== first.service || id === first.head.endpointId || id === second.head.endpointId,
     );
     harness.endpoints.splice(0, harness.endpoints.length, ...others);
-    endConnection(harness, second);
-    const third = getOrder(reply(harness, second, { kind: 'copied', handle: 'h-2', events: 6 }));
+    resetConnection(harness, second);
+    const third = getOrder(
+      replyToStop(harness, second, { kind: 'copied', handle: 'h-2', events: 6 }),
+    );
     t.is(third.head.endpointId, first.head.endpointId, 'back at the first engine');
     connect(harness, third, 7, 9);
     const orders = findStops(harness.wait(400));
     t.log({ orders: orders.length });
     // What the order comes to: the engine stops the new run and hands over its memory.
-    const stopped = reply(harness, first, { kind: 'copied', handle: 'h-3', events: 9 });
+    const stopped = replyToStop(harness, first, { kind: 'copied', handle: 'h-3', events: 9 });
     t.log({ released: findEffect(stopped, 'release-copy')?.handle });
     t.deepEqual(orders, [], 'an order to the engine that runs the request');
   });
@@ -81,16 +58,16 @@
 // Guards against a run that is back at its source after a transfer and is stopped there: the transfer began
 // while an order to stop the silent run was unconfirmed.
 test('a transfer does not begin while its engine is ordered to stop the run', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const load = { requests: 1, tokens: 5_000, waitingTokens: 0, growthTokens: 0 };
   for (const { id } of harness.endpoints) harness.loads.set(id, load);
-  const order = start(harness, '/memo/1');
-  t.is(findStops(harness.wait(SILENCE_MS)).length, 1);
+  const order = startStream(harness, '/memo/1');
+  t.is(findStops(harness.wait(LONG_SILENCE_MS)).length, 1);
   const leavingAt = harness.getNow();
   harness.holders.set(order.head.endpointId, { kind: 'known', leavingAt, dataCentreOutAt: null });
   harness.post({ to: 'requests', kind: 'endpoint-leaving', endpoint: order.head.endpointId });
   t.is(findEffect(harness.wait(25), 'start-transfer'), undefined);
-  reply(harness, order, FAILED);
+  replyToStop(harness, order, FAILED);
   t.is(findEffect(harness.wait(25), 'start-transfer'), undefined);
   connect(harness, order, 4, 6);
   t.not(findEffect(harness.wait(200), 'start-transfer'), undefined, 'the stream goes on by itself');
@@ -99,11 +76,11 @@
 // Guards against one failed connection that is taken for an engine that nobody reaches: the next order comes
 // later than two engines may work on one request.
 test('an engine without a connection is ordered again in the time of an overlap', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
-  endConnection(harness, order);
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  resetConnection(harness, order);
   const result: TransferResult = { kind: 'unreachable', message: 'timed out' };
-  t.is(findAttemptOrders(reply(harness, order, result)).length, 1, 'goes on at once');
+  t.is(findAttemptOrders(replyToStop(harness, order, result)).length, 1, 'goes on at once');
   let waitedMs = 0;
   while (waitedMs < 10_000 && findStops(harness.wait(10)).length === 0) waitedMs += 10;
   t.true(waitedMs + 150 <= 400, `${waitedMs.toString()} ms`);
@@ -111,52 +88,52 @@
 
 // Guards against a silent stream that is held to its deadline by an engine that answers no order.
 test('a silent stream does not wait to its deadline for an engine that answers no order', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
   let opened = 0;
   for (let waitedMs = 0; waitedMs < 20_000; waitedMs += 10) {
     const effects = harness.wait(10);
     opened += findAttemptOrders(effects).length;
-    if (findStops(effects).length > 0) reply(harness, order, FAILED);
+    if (findStops(effects).length > 0) replyToStop(harness, order, FAILED);
   }
   t.true(opened > 0 || harness.countOpen() === 0, 'neither continued nor failed after 20 s');
 });
 
 // Guards against a report of a time before the request was sent that counts as the proof of its end.
 test('a report that is older than the sending of the request proves nothing', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   harness.setStopResult('pending');
   const order = getOrder(harness.sendRequest('/summary/1'));
   harness.wait(1_000);
   harness.post({ ...toEvent(order), kind: 'attempt-connected' });
-  endConnection(harness, order);
-  reply(harness, order, NOT_RUNNING);
+  resetConnection(harness, order);
+  replyToStop(harness, order, NOT_RUNNING);
   report(harness, order, { kind: 'ended' });
   t.not(findStops(harness.wait(400)).length, 0);
 });
 
 // Guards against the loss of a stream that goes on: its run has ended and its last events are on their way.
 test('a report does not end the attempt of a stream that has gone on since the order', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
-  harness.wait(SILENCE_MS);
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(4, 5) });
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS);
+  sendEvents(harness, order, 4, 5);
   const effects = report(harness, order, { kind: 'ended' });
   t.is(findEffect(effects, 'cancel-attempt'), undefined);
 });
 
 // Guards against run checks that end with an order to stop that was withdrawn.
 test('the run is checked again after an order to stop was withdrawn', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
   let asked = harness.wait(1_300);
   t.not(findEffect(asked, 'check-run'), undefined);
   // The answer to this question comes after the order.
-  asked = harness.wait(SILENCE_MS - 1_300);
+  asked = harness.wait(LONG_SILENCE_MS - 1_300);
   t.is(findStops(asked).length, 1);
   report(harness, order, { kind: 'running', events: 3 });
-  reply(harness, order, FAILED);
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(4, 5) });
+  replyToStop(harness, order, FAILED);
+  sendEvents(harness, order, 4, 5);
   harness.wait(500);
   const later = harness.wait(3_000);
   t.deepEqual(findStops(later), []);
@@ -165,12 +142,12 @@
 
 // Guards against orders for a run of which the whole stream has arrived.
 test('an engine is not ordered to stop a run whose stream has arrived whole', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
-  harness.wait(SILENCE_MS);
-  reply(harness, order, FAILED);
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS);
+  replyToStop(harness, order, FAILED);
   const tokens = 200;
-  harness.post({ ...toEvent(order), kind: 'answer-continued', bytes: buildEvents(4, tokens) });
+  sendEvents(harness, order, 4, tokens);
   harness.post({ ...toEvent(order), kind: 'answer-ended' });
   t.log(harness.countOpen());
   const stops = findStops(harness.wait(1_000));
@@ -179,10 +156,10 @@
 
 // Shows the number of orders and questions of one broken run at an engine that has requests waiting.
 test('cost of an order to a busy engine', (t) => {
-  const harness = createRequestsHarness();
-  const order = start(harness, '/memo/1');
-  endConnection(harness, order);
-  const second = getOrder(reply(harness, order, NOT_RUNNING));
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  resetConnection(harness, order);
+  const second = getOrder(replyToStop(harness, order, NOT_RUNNING));
   connect(harness, second, 4, 20);
   harness.post({ to: 'requests', kind: 'caller-disconnected', key: order.key });
   let orders = 0;
@@ -191,7 +168,7 @@
     const effects = harness.wait(10);
     const stops = findStops(effects).length;
     orders += stops;
-    if (stops > 0) reply(harness, order, NOT_RUNNING);
+    if (stops > 0) replyToStop(harness, order, NOT_RUNNING);
     const asked = effects.filter(({ kind }) => kind === 'check-run').length;
     questions += asked;
     if (asked > 0) report(harness, order, { kind: 'not-running' });
@@ -204,24 +181,20 @@
 // Guards against a request that fails at one unclear answer about an old run, because the time to wait was
 // counted from the start of that order and not from the start of the wait.
 test('a request waits its time for the runs of its attempts, counted from the wait', (t) => {
-  const harness = createRequestsHarness();
-  const first = start(harness, '/memo/1');
-  endConnection(harness, first);
-  const second = getOrder(reply(harness, first, NOT_RUNNING));
+  const harness = createStopsHarness();
+  const first = startStream(harness, '/memo/1');
+  resetConnection(harness, first);
+  const second = getOrder(replyToStop(harness, first, NOT_RUNNING));
   connect(harness, second, 4, 6);
   for (let waitedMs = 0; waitedMs < 5_000; waitedMs += 10) {
     const isOrdered = findStops(harness.wait(10)).some(({ attempt }) => attempt === first.attempt);
-    if (isOrdered) reply(harness, first, NOT_RUNNING);
+    if (isOrdered) replyToStop(harness, first, NOT_RUNNING);
     if (waitedMs % 1_000 === 0)
-      harness.post({
-        ...toEvent(second),
-        kind: 'answer-continued',
-        bytes: buildEvents(7 + waitedMs / 1_000, 7 + waitedMs / 1_000),
-      });
+      sendEvents(harness, second, 7 + waitedMs / 1_000, 7 + waitedMs / 1_000);
   }
   while (findStops(harness.wait(10)).length === 0);
-  reply(harness, first, FAILED);
-  endConnection(harness, second);
+  replyToStop(harness, first, FAILED);
+  resetConnection(harness, second);
   harness.wait(300);
   t.is(harness.countOpen(), 1, 'the request failed within 0.3 s');
 });
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -128,9 +128,9 @@
 
 // Guards against an order that stops the new run of a request, which went on at the same engine.
 test('an engine that gets the request again is not ordered to stop it', (t) => {
-  const harness = createRequestsHarness();
+  const harness = createStopsHarness();
   const order = startStream(harness, '/summary/1');
-  endConnection(harness, order);
+  resetConnection(harness, order);
   const others = harness.endpoints.filter(({ id }) => id !== order.head.endpointId);
   for (const other of others) harness.endpoints.splice(harness.endpoints.indexOf(other), 1);
   const [again] = findAttemptOrders(replyToStop(harness, order, NOT_RUNNING));
