--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -7,6 +7,7 @@
 import { addStop, findStop, listStops, removeStop } from './stopState.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, RunStop } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
+import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 
 /**
  * Reports whether an engine may go on with the run of an attempt that was given up. The close of its
@@ -74,14 +75,20 @@
  *
  * @param forwarding - request
  * @param attempt - attempt that is silent
+ * @param permit - permission to go on from the memory of the run
  * @param context - state and inputs
  * @returns effects
  */
 export const stopSilentRun = (
   forwarding: Forwarding,
   attempt: Attempt,
+  permit: SendPermit,
   context: RequestsContext,
-): Effects => openStop(startStop(forwarding, attempt, context), context);
+): Effects => {
+  const stop = startStop(forwarding, attempt, context);
+  stop.permit = permit;
+  return openStop(stop, context);
+};
 
 /** Reports whether an engine may be working on the request for an attempt that was given up. */
 const isHeldUp = ({ request }: Forwarding, context: RequestsContext): boolean =>
--- a/packages/gateway/requests/sendDecisions.ts
+++ b/packages/gateway/requests/sendDecisions.ts
@@ -1,7 +1,7 @@
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import { createBudgetWindow } from '../../decisions/forwarding/budgetWindow.js';
 import type { RetryDecision } from '../../decisions/forwarding/retryBudget.js';
-import { admitFurtherSend, releaseSend } from '../../decisions/forwarding/sendPermits.js';
+import { admitFurtherSend } from '../../decisions/forwarding/sendPermits.js';
 import type {
   FurtherSend,
   SendDecision,
@@ -111,21 +111,3 @@
       : describeBudget(forwarding, send.kind, decision.budget, budget, context);
   return { decision, effects };
 };
-
-/**
- * Reports whether a stream may be continued elsewhere now.
- *
- * @param forwarding - request with a stream
- * @param context - state and inputs
- * @returns `spent` when the retry budget does not permit it
- */
-export const checkRetries = (
-  forwarding: Forwarding,
-  context: RequestsContext,
-): 'available' | 'spent' => {
-  const send = { kind: 'continuation', from: 'copy' } as const;
-  const { decision } = decideFurtherSend(forwarding, send, context);
-  if (decision.kind === 'denied') return 'spent';
-  releaseSend(decision.permit);
-  return 'available';
-};
--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -1,3 +1,5 @@
+import { removeAttempt } from './answerMemory.js';
+import { isHolderUsable, openContinuation, planFromCopy } from './attempts.js';
 import { RUN_STOP_CHECK_MS } from './constants.js';
 import { listCopies } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
@@ -26,6 +28,8 @@
 } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { Millis } from '../../core/clock.js';
+import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
+import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
 import type { EndpointIncarnation } from '../../decisions/forwarding/types.js';
 import type { RequestsEvent } from '../events.js';
 import { toIncarnation } from '../statements/incarnations.js';
@@ -68,25 +72,39 @@
   return [];
 };
 
-/** Lets the request go on once an engine does not work on one of its runs any more. */
-const continueStopped = (stop: RunStop, context: RequestsContext): Effects => {
-  const open = findOpenAttempt(stop, context);
-  if (open !== null) {
-    const { attempt, forwarding } = open;
-    const end = { kind: 'stopped', message: 'the endpoint has ended the run' } as const;
-    return [
-      { kind: 'cancel-attempt', key: stop.key, attempt: stop.attempt },
-      ...endAttempt(forwarding, attempt, end, context),
-    ];
+/** Resumes a silent stream whose run has ended, from a copy of it and with the permission that was reserved. */
+const resumeSilent = (
+  { attempt, forwarding }: OpenAttempt,
+  permit: SendPermit | null,
+  context: RequestsContext,
+): Effects => {
+  const cancel = {
+    kind: 'cancel-attempt',
+    key: forwarding.request.key,
+    attempt: attempt.number,
+  } as const;
+  const copy = listCopies(attempt).find(({ holder }) => isHolderUsable(holder, context));
+  const plan = copy === undefined ? null : planFromCopy(forwarding, copy, context);
+  if (plan !== null && permit !== null) {
+    removeAttempt(forwarding, attempt, context.state);
+    return [cancel, ...openContinuation(forwarding, plan, permit, context)];
   }
-  const forwarding = context.state.inFlight.get(stop.key);
-  return forwarding === undefined ? [] : continueIfStopped(forwarding, context);
+  if (permit !== null) releaseSend(permit);
+  const end = { kind: 'stopped', message: 'the endpoint has ended the run' } as const;
+  return [cancel, ...endAttempt(forwarding, attempt, end, context)];
 };
 
-/** Ends an order: the run has ended for certain. */
+/** Ends an order: the run has ended for certain, and its request goes on. */
 const endStop = (stop: RunStop, step: StopStep, context: RequestsContext): Effects => {
+  const { permit } = stop;
+  stop.permit = null;
   removeStop(stop, context);
-  return [...recordStep(stop, step, context), ...continueStopped(stop, context)];
+  const recorded = recordStep(stop, step, context);
+  const open = findOpenAttempt(stop, context);
+  if (open !== null) return [...recorded, ...resumeSilent(open, permit, context)];
+  if (permit !== null) releaseSend(permit);
+  const forwarding = context.state.inFlight.get(stop.key);
+  return [...recorded, ...(forwarding === undefined ? [] : continueIfStopped(forwarding, context))];
 };
 
 /**
@@ -119,10 +137,11 @@
   stop.order = 'answered';
   const open = findOpenAttempt(stop, context);
   if (open !== null) return [...recorded, ...continueSilent(stop, open, context)];
+  const forwarding = context.state.inFlight.get(stop.key);
   return [
     ...recorded,
     scheduleCheck(stop, computeOrderDelay(stop, context)),
-    ...continueStopped(stop, context),
+    ...(forwarding === undefined ? [] : continueIfStopped(forwarding, context)),
   ];
 };
 
--- a/packages/gateway/requests/stopOrders.ts
+++ b/packages/gateway/requests/stopOrders.ts
@@ -136,6 +136,7 @@
     since: now,
     endsAt: forwarding.deadlineAt,
     target: chooseStopTarget(forwarding, attempt, context),
+    permit: null,
     phase: 'unconfirmed',
     order: 'answered',
     orders: 0,
--- a/packages/gateway/requests/stopState.ts
+++ b/packages/gateway/requests/stopState.ts
@@ -1,5 +1,6 @@
 import type { RequestsContext, RunStop } from './types.js';
 import type { EndpointId } from '../../core/ids.js';
+import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 
 /**
  * Finds the order to stop the run of an attempt.
@@ -39,12 +40,15 @@
 };
 
 /**
- * Ends the repetition of an order.
+ * Ends the repetition of an order, and returns a permission that was not used.
  *
  * @param stop - order
  * @param context - state that is changed
  */
-export const removeStop = ({ attempt, key }: RunStop, { state }: RequestsContext): void => {
+export const removeStop = (stop: RunStop, { state }: RequestsContext): void => {
+  const { attempt, key, permit } = stop;
+  if (permit !== null) releaseSend(permit);
+  stop.permit = null;
   const stops = state.runStops.get(key);
   stops?.delete(attempt);
   if (stops?.size === 0) state.runStops.delete(key);
--- a/packages/gateway/requests/streamContinuations.ts
+++ b/packages/gateway/requests/streamContinuations.ts
@@ -3,7 +3,7 @@
 import { checkRequestContent } from './content.js';
 import { findCopy } from './generationCopy.js';
 import { stopSilentRun } from './runStops.js';
-import { checkRetries, decideFurtherSend } from './sendDecisions.js';
+import { decideFurtherSend } from './sendDecisions.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { Millis } from '../../core/clock.js';
 import type { GatewayEffect } from '../effects.js';
@@ -123,10 +123,12 @@
   // A run that is stopped and cannot go on would be lost.
   if (checkRequestContent(forwarding.request, context.inputs).kind === 'quarantined')
     return [describeSilence(forwarding, attempt, silentMs, 'no-endpoint')];
-  if (checkRetries(forwarding, context) === 'spent')
-    return [describeSilence(forwarding, attempt, silentMs, 'budget-spent')];
+  const { decision, effects } = decideFurtherSend(forwarding, { kind: 'transfer' }, context);
+  if (decision.kind === 'denied')
+    return [...effects, describeSilence(forwarding, attempt, silentMs, 'budget-spent')];
   return [
+    ...effects,
     describeSilence(forwarding, attempt, silentMs, 'ordered'),
-    ...stopSilentRun(forwarding, attempt, context),
+    ...stopSilentRun(forwarding, attempt, decision.permit, context),
   ];
 };
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -158,6 +158,8 @@
   readonly endsAt: Millis;
   /** Endpoint that gets the memory of the run; null while there is none. */
   target: EndpointRecord | null;
+  /** Permission to go on from the memory of a silent stream; the budget is asked before its engine stops. */
+  permit: SendPermit | null;
   phase: RunStopPhase;
   order: 'pending' | 'answered';
   /** Number of times that the order was given. */
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -192,6 +192,20 @@
   t.deepEqual(findStops(harness.wait(REPORTED_MS)), []);
 });
 
+// Guards against a silent stream that is stopped and cannot go on, since others have taken the last retry
+// meanwhile (planned soak, seed 26001).
+test('a silent stream is ordered to stop only with a retry that it keeps', (t) => {
+  const spent = createStopsHarness();
+  startStream(spent, '/memo/1');
+  spent.setRetries('spent');
+  t.deepEqual(findStops(spent.wait(LONG_SILENCE_MS)), []);
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  t.is(findStops(harness.wait(LONG_SILENCE_MS)).length, 1);
+  harness.setRetries('spent');
+  t.is(findAttemptOrders(replyToStop(harness, order, COPIED)).length, 1);
+});
+
 // Guards against a stream that is stopped although it goes on by itself.
 test('a stream that goes on before the order to stop is confirmed is not ordered again', (t) => {
   const harness = createStopsHarness();
