--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -214,7 +214,8 @@
   { waitsForStops }: Forwarding,
   context: RequestsContext,
 ): Millis | null => {
-  if (findOpenAttempt(stop, context) !== null) return stop.since;
+  const open = findOpenAttempt(stop, context);
+  if (open !== null) return open.attempt.lastEventAt > stop.since ? null : stop.since;
   return waitsForStops === null ? null : Math.max(stop.since, waitsForStops.since);
 };
 
--- a/packages/gateway/requests/unprovenEnds.test.ts
+++ b/packages/gateway/requests/unprovenEnds.test.ts
@@ -206,6 +206,18 @@
   t.is(findAttemptOrders(replyToStop(harness, order, COPIED)).length, 1);
 });
 
+// Guards against a stream that fails while it goes on, since its engine never answered the order to stop.
+test('a stream that goes on does not fail with an order that is not answered', (t) => {
+  const harness = createStopsHarness();
+  const order = startStream(harness, '/memo/1');
+  harness.wait(LONG_SILENCE_MS);
+  for (let event = 4; event < 9; event += 1) {
+    sendEvents(harness, order, event, event);
+    harness.wait(LONG_SILENCE_MS / 3);
+  }
+  t.is(harness.countOpen(), 1);
+});
+
 // Guards against a stream that is stopped although it goes on by itself.
 test('a stream that goes on before the order to stop is confirmed is not ordered again', (t) => {
   const harness = createStopsHarness();
