--- a/packages/gateway/requests/answering.ts
+++ b/packages/gateway/requests/answering.ts
@@ -285,7 +285,10 @@
 
 const endStream = (forwarding: Forwarding, attempt: Attempt, context: RequestsContext): Effects => {
   // The source of a transfer closes its stream, which for this framing looks like the end.
-  if (attempt.head?.framing === 'until-close' && checkStreamEnd(attempt, 'ended') === 'wait')
+  if (
+    attempt.head?.framing === 'until-close' &&
+    checkStreamEnd(forwarding, attempt, 'ended', context) === 'wait'
+  )
     return [];
   const place = findMissingPart(forwarding, attempt) ?? findContradiction(forwarding, attempt);
   if (place !== null) {
@@ -312,7 +315,7 @@
   const { events, place } = splitHeld(attempt);
   const { fault } = checkEventOrder(events, getProgress(forwarding));
   if (fault !== null || place === 'inside-event') {
-    if (checkStreamEnd(attempt, 'broken') === 'wait') return [];
+    if (checkStreamEnd(forwarding, attempt, 'broken', context) === 'wait') return [];
     const message = fault ?? 'the stream ended inside an event';
     return failAttempt(forwarding, attempt, { kind: 'broken', message }, context);
   }
--- a/packages/gateway/requests/attempts.ts
+++ b/packages/gateway/requests/attempts.ts
@@ -1,7 +1,6 @@
 import { HEDGE_DELAY_SHARE, INITIAL_LAST_EVENT_ID } from './constants.js';
 import { removeAttempts } from './answerMemory.js';
 import { computeStallTimeout } from './stallTimeout.js';
-import { removeStopsAt } from './stopState.js';
 import { buildCriteria, listCandidates } from './placementInputs.js';
 import { recordSent } from './requestLimits.js';
 import { NO_LOAD } from './load.js';
@@ -103,7 +102,6 @@
   const { customer, request, route, service } = forwarding;
   const now = inputs.clock.now();
   removeWaiting(forwarding, context);
-  removeStopsAt(request.key, endpoint.id, context);
   const backup = chooseBackup(forwarding, endpoint, candidates, context);
   forwarding.attemptsMade += 1;
   forwarding.waitingPermit = null;
--- a/packages/gateway/requests/crashes.ts
+++ b/packages/gateway/requests/crashes.ts
@@ -1,8 +1,8 @@
-import { cancelAttempts } from './attempts.js';
 import { checkRequestContent, computeFingerprints } from './content.js';
 import { SURVIVED_EVENTS } from './constants.js';
 import { failRequest } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { cancelRuns } from './runStops.js';
 import type { Attempt, Effects, Forwarding, RequestsContext } from './types.js';
 import type { CrashProgress } from '../../decisions/quarantine/types.js';
 import type { AttemptFailure, ProbeResult } from '../events.js';
@@ -126,6 +126,6 @@
     const isSent = [...forwarding.attempts.values()].some(({ phase }) => phase !== 'connecting');
     if (isSent) forwarding.verdict = 'may-have-run';
     const reason = 'the content of the request was quarantined before its answer began';
-    return [...cancelAttempts(forwarding, context), ...failRequest(forwarding, reason, context)];
+    return [...cancelRuns(forwarding, context), ...failRequest(forwarding, reason, context)];
   });
 };
--- a/packages/gateway/requests/requests.fixture.ts
+++ b/packages/gateway/requests/requests.fixture.ts
@@ -72,8 +72,8 @@
    */
   readonly setProbeResult: (result: ProbeResult | 'pending') => void;
   /**
-   * Sets the answer to orders to stop runs; `not-running` at first, since most engines drop a request
-   * when its connection closes. A test posts the answers to those that stay `pending`.
+   * Sets the answer to orders to stop runs; `unreachable` at first, after which a request goes on at once.
+   * A test posts the answers to those that stay `pending`.
    */
   readonly setStopResult: (result: TransferResult | 'pending') => void;
   readonly setDrain: (drain: DrainTimes | null) => void;
@@ -140,7 +140,7 @@
   const loads = new Map<string, EndpointLoad>();
   const holders = new Map<EndpointId, HolderState>();
   let probeResult: ProbeResult | 'pending' = 'reachable';
-  let stopResult: TransferResult | 'pending' = { kind: 'not-running' };
+  let stopResult: TransferResult | 'pending' = { kind: 'unreachable', message: 'timed out' };
   const peerPrioritySources = new Set<string>();
   let table = buildRoutingTable(CONFIGURATION);
   let configured: 'yes' | 'no' = 'yes';
--- a/packages/gateway/requests/requests.ts
+++ b/packages/gateway/requests/requests.ts
@@ -227,12 +227,11 @@
   { kind: 'transfer-ended' | 'run-stop-answered' | 'run-stop-due' }
 >;
 
-/** What an engine says about a run that is to stop; null if its attempt is open or the run has stopped. */
+/** What an engine says about a run that is to stop; null if no order to stop it stands. */
 const handleRunCheck = (
   { attempt, key, run }: Extract<RequestsEvent, { kind: 'run-checked' }>,
   context: RequestsContext,
 ): Effects | null => {
-  if (context.state.inFlight.get(key)?.attempts.has(attempt) === true) return null;
   const stop = findStop(key, attempt, context);
   return stop === null ? null : handleStoppedRunState(stop, run, context);
 };
@@ -253,7 +252,7 @@
     case 'answer-ended':
       return finishAnswer(forwarding, attempt, context);
     case 'attempt-failed':
-      return checkStreamEnd(attempt, 'broken') === 'wait'
+      return checkStreamEnd(forwarding, attempt, 'broken', context) === 'wait'
         ? []
         : failAttempt(forwarding, attempt, event.failure, context);
     case 'endpoint-probed':
--- a/packages/gateway/requests/runStops.ts
+++ b/packages/gateway/requests/runStops.ts
@@ -1,10 +1,16 @@
 import { isProvablyNotRun } from './attemptEnds.js';
 import type { AttemptEnd } from './attemptEnds.js';
 import { cancelAttempts } from './attempts.js';
-import { RUN_STOP_CHECK_MS } from './constants.js';
 import { continueRequest, isContinuable } from './continuing.js';
-import { createStop, orderStop, recordStep, scheduleCheck } from './stopOrders.js';
-import { addStop, findStop, listStops, removeStop } from './stopState.js';
+import {
+  computeCheckDelay,
+  createStop,
+  isHoldingUp,
+  orderStop,
+  recordStep,
+  scheduleCheck,
+} from './stopOrders.js';
+import { addStop, findStop, listStops, releaseStopPermit, removeStop } from './stopState.js';
 import type { Attempt, Effects, Forwarding, RequestsContext, RunStop } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
@@ -42,7 +48,7 @@
 const openStop = (stop: RunStop, context: RequestsContext): Effects => [
   ...recordStep(stop, 'ordered', context),
   ...orderStop(stop, context),
-  scheduleCheck(stop, RUN_STOP_CHECK_MS),
+  scheduleCheck(stop, computeCheckDelay(stop)),
 ];
 
 /**
@@ -66,7 +72,9 @@
     if (known !== null) removeStop(known, context);
     return [];
   }
-  return known === null ? openStop(startStop(forwarding, attempt, context), context) : [];
+  if (known === null) return openStop(startStop(forwarding, attempt, context), context);
+  releaseStopPermit(known);
+  return [];
 };
 
 /**
@@ -90,9 +98,9 @@
   return openStop(stop, context);
 };
 
-/** Reports whether an engine may be working on the request for an attempt that was given up. */
-const isHeldUp = ({ request }: Forwarding, context: RequestsContext): boolean =>
-  listStops(request.key, context).some(({ phase }) => phase === 'unconfirmed');
+/** Reports whether an engine may work on the request for an attempt that was given up. */
+const isHeldUp = (forwarding: Forwarding, context: RequestsContext): boolean =>
+  listStops(forwarding.request.key, context).some((stop) => isHoldingUp(stop, forwarding, context));
 
 /**
  * Continues a request that waits for the runs of its earlier attempts, if none of them is left that an
@@ -126,7 +134,11 @@
   end: AttemptEnd,
   context: RequestsContext,
 ): Effects => {
-  const mayContinue = isProvablyNotRun(end, attempt) || isContinuable(forwarding, attempt);
+  const mayContinue =
+    isProvablyNotRun(end, attempt) ||
+    isContinuable(forwarding, attempt) ||
+    // An order that is under way may bring the memory of the run.
+    isHeldUp(forwarding, context);
   // Nothing runs beside an engine that works on without a caller.
   if (!mayContinue) return continueRequest(forwarding, attempt, end, context);
   const ordered = stopRun(forwarding, attempt, end, context);
--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -1,21 +1,25 @@
 import { removeAttempt } from './answerMemory.js';
+import { describeEnd } from './attemptEnds.js';
 import { isHolderUsable, openContinuation, planFromCopy } from './attempts.js';
-import { RUN_STOP_CHECK_MS } from './constants.js';
+import { RUN_STOP_CHECK_MS, RUN_STOP_WATCH_MS } from './constants.js';
 import { listCopies } from './generationCopy.js';
 import { failRequest } from './outcomes.js';
 import { endAttempt } from './retrying.js';
+import { startRunChecks } from './runChecks.js';
 import { cancelRuns, continueIfStopped } from './runStops.js';
 import { computeStallTimeout } from './stallTimeout.js';
 import {
   checkReport,
+  computeCheckDelay,
   computeOrderDelay,
+  isHoldingUp,
   isReportRecent,
   orderStop,
   recordStep,
   scheduleCheck,
 } from './stopOrders.js';
 import type { StopStep } from './stopOrders.js';
-import { findStop, removeStop } from './stopState.js';
+import { findStop, isUsedAgain, removeStop } from './stopState.js';
 import { continueElsewhere } from './streamContinuations.js';
 import type {
   Attempt,
@@ -83,14 +87,20 @@
     key: forwarding.request.key,
     attempt: attempt.number,
   } as const;
-  const copy = listCopies(attempt).find(({ holder }) => isHolderUsable(holder, context));
+  const end = { kind: 'stopped', message: 'the endpoint has ended the run' } as const;
+  const [copy, fallback] = listCopies(attempt).filter(({ holder }) =>
+    isHolderUsable(holder, context),
+  );
   const plan = copy === undefined ? null : planFromCopy(forwarding, copy, context);
-  if (plan !== null && permit !== null) {
+  if (copy !== undefined && plan !== null && permit !== null) {
     removeAttempt(forwarding, attempt, context.state);
-    return [cancel, ...openContinuation(forwarding, plan, permit, context)];
+    // The source keeps the memory that it has handed over.
+    const way = fallback ?? { ...copy, holder: attempt.endpoint };
+    const described = describeEnd(forwarding, attempt, end, context);
+    const opened = openContinuation(forwarding, { ...plan, fallback: way }, permit, context);
+    return [cancel, ...described, ...opened];
   }
   if (permit !== null) releaseSend(permit);
-  const end = { kind: 'stopped', message: 'the endpoint has ended the run' } as const;
   return [cancel, ...endAttempt(forwarding, attempt, end, context)];
 };
 
@@ -107,25 +117,54 @@
   return [...recorded, ...(forwarding === undefined ? [] : continueIfStopped(forwarding, context))];
 };
 
-/**
- * Continues the silent stream of an engine that does not work on it now. The attempt stays open for the
- * time of the overlap, after which its engine is ordered to stop again.
- */
-const continueSilent = (
+const isGoingOn = (stop: RunStop, { attempt }: OpenAttempt): boolean =>
+  attempt.lastEventAt > stop.since;
+
+/** Ends the order to stop the run of an open attempt, which `runChecks.ts` watches again. */
+const cancelStop = (
   stop: RunStop,
   { attempt, forwarding }: OpenAttempt,
   context: RequestsContext,
 ): Effects => {
   removeStop(stop, context);
+  return startRunChecks(forwarding, attempt, context);
+};
+
+/**
+ * Continues the silent stream of an engine that does not work on it. The attempt stays open for the time
+ * of the overlap, after which its engine is ordered to stop again.
+ */
+const continueSilent = (stop: RunStop, open: OpenAttempt, context: RequestsContext): Effects => {
+  const { attempt, forwarding } = open;
+  const cancelled = cancelStop(stop, open, context);
   const isDecided = forwarding.attempts.size > 1 || attempt.failure !== null;
-  return isDecided || attempt.lastEventAt > stop.since
-    ? []
-    : continueElsewhere(forwarding, attempt, context);
+  return isDecided || isGoingOn(stop, open)
+    ? cancelled
+    : [...cancelled, ...continueElsewhere(forwarding, attempt, context)];
+};
+
+/** Ends an attempt whose stream ended while the order was pending, and that the order has not stopped. */
+const endClosed = ({ attempt, forwarding }: OpenAttempt, context: RequestsContext): Effects => {
+  const end = { kind: 'broken', message: 'the stream ended during an order to stop it' } as const;
+  return [
+    { kind: 'cancel-attempt', key: forwarding.request.key, attempt: attempt.number },
+    ...endAttempt(forwarding, attempt, end, context),
+  ];
+};
+
+/** Lets the request go on unless it waits for the run. */
+const continueIfFree = (stop: RunStop, context: RequestsContext): Effects => {
+  const forwarding = context.state.inFlight.get(stop.key);
+  if (forwarding === undefined) return [];
+  const open = findOpenAttempt(stop, context);
+  if (open === null) return continueIfStopped(forwarding, context);
+  if (open.attempt.streamState !== 'open') return endClosed(open, context);
+  return isHoldingUp(stop, forwarding, context) ? [] : continueSilent(stop, open, context);
 };
 
 /**
- * Lets the request go on although the run may not have ended: its engine does not work on it now. The
- * order is repeated, so that a run that begins later is stopped.
+ * Notes that the engine does not work on the run now, or that nobody reaches it. The order is repeated,
+ * so that a run that begins later is stopped, also when the request has gone on.
  */
 const holdStop = (
   stop: RunStop,
@@ -135,22 +174,21 @@
   const recorded = stop.phase === phase ? [] : recordStep(stop, phase, context);
   stop.phase = phase;
   stop.order = 'answered';
-  const open = findOpenAttempt(stop, context);
-  if (open !== null) return [...recorded, ...continueSilent(stop, open, context)];
-  const forwarding = context.state.inFlight.get(stop.key);
   return [
     ...recorded,
     scheduleCheck(stop, computeOrderDelay(stop, context)),
-    ...(forwarding === undefined ? [] : continueIfStopped(forwarding, context)),
+    ...continueIfFree(stop, context),
   ];
 };
 
 const waitForConfirmation = (stop: RunStop, message: string, context: RequestsContext): Effects => {
   stop.phase = 'unconfirmed';
   stop.order = 'answered';
+  const open = findOpenAttempt(stop, context);
   return [
     ...recordStep(stop, 'unconfirmed', context, message),
     scheduleCheck(stop, computeOrderDelay(stop, context)),
+    ...(open === null || open.attempt.streamState === 'open' ? [] : endClosed(open, context)),
   ];
 };
 
@@ -215,7 +253,7 @@
   context: RequestsContext,
 ): Millis | null => {
   const open = findOpenAttempt(stop, context);
-  if (open !== null) return open.attempt.lastEventAt > stop.since ? null : stop.since;
+  if (open !== null) return isGoingOn(stop, open) ? null : stop.since;
   return waitsForStops === null ? null : Math.max(stop.since, waitsForStops.since);
 };
 
@@ -234,23 +272,20 @@
   ];
 };
 
-/** Reports whether a silent stream has gone on, so that its run is not to be stopped any more. */
-const isWithdrawn = (stop: RunStop, context: RequestsContext): boolean => {
+/** Ends the order to stop a silent stream that has gone on by itself; null if it has not. */
+const cancelNeedless = (stop: RunStop, context: RequestsContext): Effects | null => {
   const open = findOpenAttempt(stop, context);
-  return stop.order === 'answered' && open !== null && open.attempt.lastEventAt > stop.since;
+  if (stop.order === 'pending' || open === null || !isGoingOn(stop, open)) return null;
+  return [...recordStep(stop, 'withdrawn', context), ...cancelStop(stop, open, context)];
 };
 
-const cancelStop = (stop: RunStop, context: RequestsContext): Effects => {
-  removeStop(stop, context);
-  return recordStep(stop, 'withdrawn', context);
+/** A request that waits for the proof gets it from the next report. */
+const isReportDue = (stop: RunStop, context: RequestsContext): boolean => {
+  if (stop.phase === 'unreachable') return false;
+  const delayMs = stop.phase === 'not-running' ? RUN_STOP_WATCH_MS : RUN_STOP_CHECK_MS;
+  return context.inputs.clock.now() - stop.askedAt >= delayMs;
 };
 
-/** The run of an open attempt is asked for by `runChecks.ts`. */
-const isReportDue = (stop: RunStop, context: RequestsContext): boolean =>
-  stop.phase !== 'unreachable' &&
-  findOpenAttempt(stop, context) === null &&
-  context.inputs.clock.now() - stop.askedAt >= RUN_STOP_CHECK_MS;
-
 /**
  * Checks on a run whose end has not been proved: orders its stop again, and asks the engine what it runs,
  * since the answer to the order waits until the memory of the run has been copied.
@@ -266,12 +301,15 @@
   const stop = findStop(key, attempt, context);
   if (stop === null || check !== stop.checks) return [];
   if (context.inputs.clock.now() >= stop.endsAt) return endStop(stop, 'expired', context);
-  if (isWithdrawn(stop, context)) return cancelStop(stop, context);
+  const cancelled = cancelNeedless(stop, context);
+  if (cancelled !== null) return cancelled;
+  const failed = failUnconfirmed(stop, context);
+  if (failed.length > 0) return failed;
   return [
-    ...failUnconfirmed(stop, context),
-    ...(stop.order === 'answered' ? orderStop(stop, context) : []),
+    ...(stop.order === 'answered' && !isUsedAgain(stop, context) ? orderStop(stop, context) : []),
     ...(isReportDue(stop, context) ? checkReport(stop, context) : []),
-    scheduleCheck(stop, RUN_STOP_CHECK_MS),
+    scheduleCheck(stop, computeCheckDelay(stop)),
+    ...continueIfFree(stop, context),
   ];
 };
 
@@ -288,5 +326,11 @@
   stop: RunStop,
   run: RunState,
   context: RequestsContext,
-): Effects =>
-  run.kind === 'ended' && isReportRecent(stop, context) ? endStop(stop, run.kind, context) : [];
+): Effects => {
+  const open = findOpenAttempt(stop, context);
+  // The last events of a run that went on and ended are on their way.
+  const isNeedless = open !== null && isGoingOn(stop, open);
+  return run.kind === 'ended' && isReportRecent(stop, context) && !isNeedless
+    ? endStop(stop, run.kind, context)
+    : [];
+};
--- a/packages/gateway/requests/stopOrders.ts
+++ b/packages/gateway/requests/stopOrders.ts
@@ -1,11 +1,14 @@
 import { chooseTransferTarget } from './attempts.js';
 import {
   MAX_REPORT_AGE_MS,
+  PLACEMENT_RETRY_MS,
+  RUN_STOP_CHECK_MS,
   RUN_STOP_IDLE_MS,
   RUN_STOP_RETRY_MS,
   RUN_STOP_WATCH_MS,
 } from './constants.js';
 import { listCandidates } from './placementInputs.js';
+import { computeStallTimeout } from './stallTimeout.js';
 import type {
   Attempt,
   Effects,
@@ -211,6 +214,15 @@
   };
 };
 
+/**
+ * Computes the delay until an order without an answer is checked.
+ *
+ * @param stop - order
+ * @returns the delay; that of a placement while there is no endpoint to name in the order
+ */
+export const computeCheckDelay = ({ target }: RunStop): Millis =>
+  target === null ? PLACEMENT_RETRY_MS : RUN_STOP_CHECK_MS;
+
 /**
  * Computes the delay before an order that was answered is given again.
  *
@@ -235,6 +247,32 @@
   }
 };
 
+/**
+ * Reports whether a request waits for one of its runs. A run that its engine does not work on now may wait
+ * there, and is waited for as long as a silent one; then the request goes on, and the order stays.
+ *
+ * @param stop - order to stop the run
+ * @param forwarding - request
+ * @param context - inputs
+ * @returns false when no engine works on the run, as far as can be known in time
+ */
+export const isHoldingUp = (
+  { phase, since }: RunStop,
+  forwarding: Forwarding,
+  { inputs }: RequestsContext,
+): boolean => {
+  switch (phase) {
+    case 'unconfirmed':
+      return true;
+    case 'not-running':
+      return inputs.clock.now() - since < computeStallTimeout(forwarding);
+    case 'unreachable':
+      return false;
+    default:
+      return assertNever(phase);
+  }
+};
+
 /**
  * Reports whether what an engine reports now is of a time at which it had the request. An older report
  * does not list it, either.
--- a/packages/gateway/requests/stopState.ts
+++ b/packages/gateway/requests/stopState.ts
@@ -1,5 +1,4 @@
 import type { RequestsContext, RunStop } from './types.js';
-import type { EndpointId } from '../../core/ids.js';
 import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 
 /**
@@ -46,31 +45,40 @@
  * @param context - state that is changed
  */
 export const removeStop = (stop: RunStop, { state }: RequestsContext): void => {
-  const { attempt, key, permit } = stop;
-  if (permit !== null) releaseSend(permit);
-  stop.permit = null;
+  const { attempt, key } = stop;
+  releaseStopPermit(stop);
   const stops = state.runStops.get(key);
   stops?.delete(attempt);
   if (stops?.size === 0) state.runStops.delete(key);
 };
 
 /**
- * Ends the repetition of the orders to an endpoint that gets a request again. They name the request, so
- * that they would stop its new run there.
+ * Returns the permission that an order holds, once its stream cannot use it any more.
  *
- * @param key - key of the request
- * @param endpoint - endpoint to which the request is sent
- * @param context - state that is changed
+ * @param stop - order, which is changed
  */
-export const removeStopsAt = (
-  key: number,
-  endpoint: EndpointId,
-  context: RequestsContext,
-): void => {
-  for (const stop of listStops(key, context))
-    if (stop.endpoint.id === endpoint) removeStop(stop, context);
+export const releaseStopPermit = (stop: RunStop): void => {
+  if (stop.permit !== null) releaseSend(stop.permit);
+  stop.permit = null;
 };
 
+/**
+ * Reports whether the endpoint of an order has got its request again. Orders name the request, so that
+ * they would stop the new run there.
+ *
+ * @param stop - order to stop an earlier run
+ * @param context - state
+ * @returns false also while the new attempt is connecting
+ */
+export const isUsedAgain = (
+  { attempt, endpoint, key }: RunStop,
+  { state }: RequestsContext,
+): boolean =>
+  [...(state.inFlight.get(key)?.attempts.values() ?? [])].some(
+    (other) =>
+      other.number !== attempt && other.endpoint.id === endpoint.id && other.phase !== 'connecting',
+  );
+
 /**
  * Ends the repetition of the order to stop a run whose answer has arrived whole.
  *
--- a/packages/gateway/requests/streams.fixture.ts
+++ b/packages/gateway/requests/streams.fixture.ts
@@ -44,6 +44,12 @@
 /** Result of an engine that does not run the request now, and may still have it waiting. */
 export const NOT_RUNNING: TransferResult = { kind: 'not-running' };
 
+/** Result of an engine that nobody reaches. */
+export const UNREACHABLE: TransferResult = { kind: 'unreachable', message: 'timed out' };
+
+/** Result that proves the end of a run: nothing listens at the address of the engine. */
+export const GONE: TransferResult = { kind: 'refused', message: 'ECONNREFUSED' };
+
 /**
  * Creates a harness in which an order to stop a run waits for the answer that a test posts.
  *
@@ -173,7 +179,7 @@
   harness.post({ ...toEvent(order), kind: 'transfer-ended', source: toSource(order), result });
 
 /**
- * Lets a stream be silent until another engine continues it, since its own does not run it now.
+ * Lets a stream be silent until another engine continues it, since nobody reaches its own.
  *
  * @param harness - harness of `createStopsHarness`
  * @param order - order that opened the silent attempt
@@ -181,5 +187,5 @@
  */
 export const continueSilent = (harness: RequestsHarness, order: AttemptOrder): AttemptOrder => {
   harness.wait(LONG_SILENCE_MS);
-  return getOrder(replyToStop(harness, order, NOT_RUNNING));
+  return getOrder(replyToStop(harness, order, UNREACHABLE));
 };
--- a/packages/gateway/requests/transfers.ts
+++ b/packages/gateway/requests/transfers.ts
@@ -3,14 +3,14 @@
 import { MAX_TRANSFER_TRIES, TRANSFER_RETRY_MS } from './constants.js';
 import { finishStream } from './outcomes.js';
 import { endAttempt } from './retrying.js';
-import { removeStopOf } from './stopState.js';
+import { findStop, removeStopOf } from './stopState.js';
 import { findMissingPart } from './streamEnd.js';
 import { orderTransfer } from './transferStarts.js';
 import { releaseCopy } from './generationCopy.js';
 import { REPORT_TO_PEERS } from './peerReports.js';
 import { waitForTransfer, describeTransfer, scheduleNextTransfer } from './transferTurns.js';
 import type { RunningGeneration } from './transferTurns.js';
-import type { Attempt, Effects, RequestsContext, StartedTransfer } from './types.js';
+import type { Attempt, Effects, Forwarding, RequestsContext, StartedTransfer } from './types.js';
 import { assertNever } from '../../core/assertNever.js';
 import { releaseSend } from '../../decisions/forwarding/sendPermits.js';
 import type { SendPermit } from '../../decisions/forwarding/sendPermits.js';
@@ -229,14 +229,23 @@
 };
 
 /**
- * Checks whether a stream ended early because a transfer stopped its generation, and records it.
+ * Checks whether a stream ended early because a transfer or an order to stop has ended its generation, and
+ * records it.
  *
+ * @param forwarding - request with a stream
  * @param attempt - attempt whose stream ended early
  * @param end - how it ended
- * @returns `wait` when the result of the transfer is pending, else `ended`
+ * @param context - state
+ * @returns `wait` when the result of the transfer or of the order is pending, else `ended`
  */
-export const checkStreamEnd = (attempt: Attempt, end: 'ended' | 'broken'): 'wait' | 'ended' => {
-  if (attempt.transfer?.phase !== 'stopping') return 'ended';
+export const checkStreamEnd = (
+  { request }: Forwarding,
+  attempt: Attempt,
+  end: 'ended' | 'broken',
+  context: RequestsContext,
+): 'wait' | 'ended' => {
+  const stop = findStop(request.key, attempt.number, context);
+  if (attempt.transfer?.phase !== 'stopping' && stop?.order !== 'pending') return 'ended';
   attempt.streamState = end;
   return 'wait';
 };
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -138,8 +138,8 @@
 
 /**
  * Order to stop a run that its engine may go on with although the attempt was given up. It is repeated
- * until the end of the run is proved, also after the end of the request. Only `stopOrders.ts` and
- * `stopAnswers.ts` update it, in place.
+ * until the end of the run is proved, also after the end of the request. Only `runStops.ts`, `stopOrders.ts`,
+ * `stopAnswers.ts` and `stopState.ts` update it, in place.
  */
 export interface RunStop {
   readonly key: number;
