--- a/packages/gateway/requests/stopAnswers.ts
+++ b/packages/gateway/requests/stopAnswers.ts
@@ -66,7 +66,10 @@
   { kind: 'release-copy', source, handle },
 ];
 
-/** Keeps the memory of a run for its request, or releases it if the request does not need it. */
+/**
+ * Keeps the memory of a run for its request, or releases it if the request does not go on from it. The
+ * engine frees memory that is neither used nor released by itself.
+ */
 const storeMemory = (stop: RunStop, copy: TransferredCopy, context: RequestsContext): Effects => {
   const attempt = findResumable(stop, context);
   if (attempt === null) return releaseMemory(toIncarnation(stop.endpoint), copy.handle);
--- a/packages/gateway/requests/types.ts
+++ b/packages/gateway/requests/types.ts
@@ -133,7 +133,7 @@
   | 'unconfirmed'
   /** The engine does not work on it now. It may do so later: the run may be queued there, or preempted. */
   | 'not-running'
-  /** No connection to the engine was established. */
+  /** No connection to the engine was established, or there is no endpoint to name in the order. */
   | 'unreachable';
 
 /**
@@ -152,7 +152,7 @@
   readonly events: number;
   /** Instant at which the request was sent. */
   readonly sentAt: Millis;
-  /** Instant at which the attempt was given up. */
+  /** Instant at which the attempt was given up, or at which the order to stop a silent stream began. */
   readonly since: Millis;
   /** Deadline of the request, at which each engine stops working on it. */
   readonly endsAt: Millis;
